--- /dev/null
+++ b/src/bin/crankpaddle-simhost/facts.rs
@@ -0,0 +1,230 @@
+//! The settings that come with an instance's first message, from JSON to the library's terms.
+use crankpaddle::{Class, Effect, Group, LoadField, Settings};
+use serde::Deserialize;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Facts {
+    index: u32,
+    siblings: u32,
+    #[serde(default)]
+    az: u8,
+    services: Vec<Service>,
+    family_info: Family,
+    limits: Limits,
+    rules: Rules,
+    #[serde(default)]
+    telemetry: Telemetry,
+    #[serde(default)]
+    prices: Prices,
+    #[serde(default)]
+    parties: Vec<Party>,
+    #[serde(default = "one")]
+    over_share_worth: f64,
+    #[serde(default)]
+    discovery: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Service {
+    aim: u64,
+    semantics: Semantics,
+    #[serde(default)]
+    key_scope: Scope,
+    #[serde(default)]
+    memory_span: u64,
+    worth: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Semantics {
+    Free,
+    Guarded,
+    SingleShot,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "snake_case")]
+enum Scope {
+    #[default]
+    All,
+    #[serde(alias = "az", alias = "campus")]
+    Zone,
+    #[serde(alias = "slot-no")]
+    Cell,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Family {
+    cells: u32,
+    cabinets: u32,
+    class_top: Vec<u8>,
+    lowest_rung: Vec<u8>,
+    rate_factor: Vec<f64>,
+    #[serde(default)]
+    licence_cap: Vec<u32>,
+    #[serde(default)]
+    is_live: Vec<bool>,
+    fleet_kb: f64,
+    #[serde(default)]
+    guard: f64,
+    #[serde(default = "one")]
+    join: f64,
+    kb_per_weight: f64,
+    level_kb: Vec<f64>,
+    rung_worth: Vec<f64>,
+    places_by_kind: Vec<u32>,
+    #[serde(default)]
+    see: u64,
+    #[serde(default)]
+    shortfall_cost: f64,
+    #[serde(default)]
+    switch_s: f64,
+    #[serde(default)]
+    told_every: u64,
+    uplink_kb: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Limits {
+    attempts_cap: u32,
+    #[serde(default)]
+    cancel: bool,
+    #[serde(default)]
+    max_retry_after: u64,
+    #[serde(default)]
+    retry_after: bool,
+    #[serde(default)]
+    may_tell: bool,
+    #[serde(default)]
+    probing: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Rules {
+    #[serde(default)]
+    ask_within: u64,
+    extra_floor: Option<f64>,
+    extra_share: Option<f64>,
+    #[serde(default)]
+    budget_window: u64,
+    cold_share: f64,
+    cold: u64,
+    tip_multiple: f64,
+    fall: u64,
+}
+
+#[derive(Deserialize, Default)]
+struct Telemetry {
+    #[serde(default)]
+    fields: Vec<String>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+struct Prices {
+    cross_zone: f64,
+    moves: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Party {
+    #[serde(default)]
+    quota_per_s: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// Reads the settings and the names of a load report's fields.
+pub fn parse(text: &[u8]) -> Result<(Settings, Vec<LoadField>), String> {
+    let f: Facts = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+    let family = f.family_info;
+    for (name, n) in [
+        ("class-top", family.class_top.len()),
+        ("lowest-rung", family.lowest_rung.len()),
+        ("rate-factor", family.rate_factor.len()),
+    ] {
+        if n < f.services.len() {
+            return Err(format!("family-info.{name} has {n} entries for {} classes", f.services.len()));
+        }
+    }
+    if family.level_kb.is_empty() || family.level_kb.len() != family.rung_worth.len() {
+        return Err("family-info.level-kb and rung-worth must name the same rungs".into());
+    }
+    if family.cells == 0 || family.cabinets == 0 || f.siblings == 0 || f.services.is_empty() {
+        return Err("cells, cabinets, siblings and services must not be empty".into());
+    }
+    let classes = f.services.iter().enumerate().map(|(i, s)| Class {
+        aim: s.aim,
+        effect: match (&s.semantics, &s.key_scope) {
+            (Semantics::Free, _) => Effect::Free,
+            (Semantics::SingleShot, _) => Effect::SingleShot,
+            (Semantics::Guarded, Scope::All) => Effect::Guarded(Group::All),
+            (Semantics::Guarded, Scope::Zone) => Effect::Guarded(Group::Zone),
+            (Semantics::Guarded, Scope::Cell) => Effect::Guarded(Group::Cell),
+        },
+        repeat_within: s.memory_span,
+        worth: s.worth,
+        floor: family.lowest_rung[i],
+        top: family.class_top[i],
+        rate_factor: family.rate_factor[i],
+        seats: family.licence_cap.get(i).copied().unwrap_or(0),
+        live: family.is_live.get(i).copied().unwrap_or(false),
+    });
+    let fields = f.telemetry.fields.iter().map(|name| match name.as_str() {
+        "active" => LoadField::Streams,
+        "cpu" => LoadField::LinkUtil,
+        "x0" => LoadField::LinkAsked,
+        "x1" => LoadField::UplinkAsked,
+        _ => LoadField::Other,
+    });
+    let fields = fields.collect();
+    let rationed = f.rules.extra_floor.is_some() || f.rules.extra_share.is_some();
+    let settings = Settings {
+        index: f.index,
+        siblings: f.siblings,
+        zone: f.az,
+        classes: classes.collect(),
+        rung_kb: family.level_kb,
+        rung_worth: family.rung_worth,
+        cells: family.cells,
+        racks: family.cabinets,
+        places: family.places_by_kind,
+        fleet_kb: family.fleet_kb,
+        link_kb: family.kb_per_weight,
+        uplink_kb: family.uplink_kb,
+        server_guard: family.guard,
+        join: family.join,
+        note_delay: family.see,
+        note_every: family.told_every,
+        shortfall_cost: family.shortfall_cost,
+        switch_seconds: family.switch_s,
+        tenant_quota: f.parties.iter().map(|p| p.quota_per_s).collect(),
+        over_share_worth: f.over_share_worth,
+        must_ask: f.discovery == "ask",
+        ask_within: f.rules.ask_within,
+        attempts_cap: f.limits.attempts_cap,
+        stay_away_cap: if f.limits.retry_after { f.limits.max_retry_after } else { 0 },
+        may_probe: f.limits.probing,
+        may_tell: f.limits.may_tell,
+        may_cancel: f.limits.cancel,
+        cold: f.rules.cold,
+        cold_share: f.rules.cold_share,
+        fall_multiple: f.rules.tip_multiple,
+        fall: f.rules.fall,
+        extra_floor: rationed.then(|| f.rules.extra_floor.unwrap_or(0.0)),
+        extra_share: f.rules.extra_share.unwrap_or(0.0),
+        extra_window: f.rules.budget_window,
+        cross_zone_price: f.prices.cross_zone,
+        move_price: f.prices.moves,
+    };
+    Ok((settings, fields))
+}
--- /dev/null
+++ b/src/bin/crankpaddle-simhost/wire.rs
@@ -0,0 +1,349 @@
+//! The bench's wire: framed little-endian records. It decodes batches and encodes replies, and decides nothing.
+use crankpaddle::{Action, Ask, Event, Listing, LoadField, Note, Outcome, Phase, Report, RequestId};
+use crankpaddle::{RosterKind, ServerId, Time};
+use std::io::{self, Read, Write};
+
+const EVENT_BYTES: usize = 72;
+const ACTION_BYTES: usize = 32;
+const ENTRY_BYTES: usize = 22;
+/// No batch is larger; a length beyond this is a broken frame.
+const MOST_BYTES: usize = 1 << 30;
+
+/// A batch of events.
+pub struct Batch {
+    pub number: u32,
+    pub now: Time,
+    body: Vec<u8>,
+    records: usize,
+}
+
+/// One record of a batch.
+pub enum Record<'a> {
+    Spawn {
+        who: u32,
+        seed: u64,
+        facts: &'a [u8],
+    },
+    Stop {
+        who: u32,
+    },
+    Directory {
+        list: u8,
+        entries: Vec<Listing>,
+    },
+    Topology {
+        who: u32,
+        kind: RosterKind,
+        list: u8,
+    },
+    Front {
+        who: u32,
+        event: Event,
+    },
+    /// An event with a load report, whose fields only the instance's settings name.
+    Reported {
+        who: u32,
+        event: Event,
+        values: Vec<f64>,
+    },
+}
+
+/// Fills `buffer`; `Ok(false)` at the end of input before its first byte.
+fn fill(input: &mut impl Read, buffer: &mut [u8], what: &str) -> Result<bool, String> {
+    let mut have = 0;
+    while have < buffer.len() {
+        match input.read(&mut buffer[have..]) {
+            Ok(0) if have == 0 => return Ok(false),
+            Ok(0) => return Err(format!("input ends after {have} of {} bytes of the {what}", buffer.len())),
+            Ok(n) => have += n,
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(format!("cannot read the {what}: {e}")),
+        }
+    }
+    Ok(true)
+}
+
+impl Batch {
+    /// The next batch, or `None` at the end of input between frames.
+    pub fn read(input: &mut impl Read) -> Result<Option<Batch>, String> {
+        let mut head = [0u8; 20];
+        if !fill(input, &mut head, "batch header")? {
+            return Ok(None);
+        }
+        let number = u32_at(&head, 0);
+        let now = Time(u64_at(&head, 4));
+        let size = u32_at(&head, 12) as usize;
+        let records = u32_at(&head, 16) as usize;
+        if !(4..=MOST_BYTES).contains(&size) {
+            return Err(format!("batch {number}: a length of {size} bytes is out of range"));
+        }
+        if records.saturating_mul(EVENT_BYTES) > size - 4 {
+            return Err(format!("batch {number}: {records} records do not fit its length of {size} bytes"));
+        }
+        // Grows with what really arrives, so that a wrong length cannot claim the memory at once.
+        let mut body = Vec::new();
+        let got = input.take(size as u64 - 4).read_to_end(&mut body);
+        let got = got.map_err(|e| format!("batch {number}: cannot read the records: {e}"))?;
+        if got < size - 4 {
+            return Err(format!("batch {number}: input ends after {got} of {} bytes", size - 4));
+        }
+        Ok(Some(Batch { number, now, body, records }))
+    }
+
+    /// The number of records.
+    pub fn len(&self) -> usize {
+        self.records
+    }
+
+    /// The record at `index`.
+    pub fn record(&self, index: usize) -> Result<Record<'_>, String> {
+        let at = index * EVENT_BYTES;
+        let (r, tail) = (&self.body[at..at + EVENT_BYTES], &self.body[self.records * EVENT_BYTES..]);
+        decode(r, tail).map_err(|e| format!("batch {}, record {index} (code {}): {e}", self.number, r[0]))
+    }
+}
+
+fn decode<'a>(r: &[u8], tail: &'a [u8]) -> Result<Record<'a>, String> {
+    let who = u32_at(r, 1);
+    let request = RequestId(u64_at(r, 5));
+    let front = |event| Ok(Record::Front { who, event });
+    match r[0] {
+        80 => Ok(Record::Spawn { who, seed: u64_at(r, 5), facts: slice(tail, r, 13, 1)? }),
+        70 => Ok(Record::Stop { who }),
+        20 => {
+            let raw = slice(tail, r, 2, ENTRY_BYTES)?;
+            let entries = raw.chunks_exact(ENTRY_BYTES).map(listing).collect::<Result<_, _>>()?;
+            Ok(Record::Directory { list: r[1], entries })
+        }
+        130 => {
+            let kind = match r[5] {
+                0 => RosterKind::Cached,
+                1 => RosterKind::Delta,
+                2 => RosterKind::Failed,
+                3 => RosterKind::Full,
+                k => return Err(format!("unknown list kind {k}")),
+            };
+            Ok(Record::Topology { who, kind, list: r[14] })
+        }
+        10 => {
+            let flags = u16_at(r, 21);
+            front(Event::Ask(Ask {
+                request,
+                viewer: u64_at(r, 13),
+                deadline: Time(u64_at(r, 23)),
+                copies: whole(r, 31)?,
+                top: whole(r, 35)?.min(255) as u8,
+                hint: (flags & 1 != 0).then(|| u64_at(r, 39)),
+                tenant: u16_at(r, 47),
+                title: u64_at(r, 49),
+                class: r[57],
+                first_cell: whole(r, 58)?,
+                again: flags & 16 != 0,
+                moved: flags & 8 != 0,
+            }))
+        }
+        110 => {
+            let flags = u16_at(r, 55);
+            let ask = Ask {
+                request,
+                viewer: u64_at(r, 13),
+                hint: (flags & 1 != 0).then(|| u64_at(r, 21)),
+                deadline: Time(u64_at(r, 29)),
+                top: whole(r, 37)?.min(255) as u8,
+                title: u64_at(r, 45),
+                tenant: u16_at(r, 53),
+                first_cell: whole(r, 57)?,
+                copies: whole(r, 61)?,
+                class: r[65],
+                again: flags & 16 != 0,
+                moved: flags & 8 != 0,
+            };
+            front(Event::Adopted(ask, ServerId(u32_at(r, 41))))
+        }
+        60 => front(Event::Playing {
+            request,
+            attempt: r[13],
+            server: ServerId(u32_at(r, 14)),
+            took: u64_at(r, 18),
+        }),
+        90 => {
+            let value = f64::from(f32_at(r, 19));
+            let note = match r[18] {
+                1 => Note::Delivered(value),
+                2 => Note::Rung(whole(r, 19)?.min(255) as u8),
+                3 => Note::Link(value),
+                4 => Note::Uplink(value),
+                k => return Err(format!("unknown note kind {k}")),
+            };
+            front(Event::Note { request, server: ServerId(u32_at(r, 14)), note })
+        }
+        50 => {
+            let (server, outcome) = (ServerId(u32_at(r, 13)), outcome(u16_at(r, 26))?);
+            let (attempt, closed, report) = (r[28], r[25] != 0, Report::new());
+            let event = Event::Ended { request, attempt, server, outcome, closed, report };
+            Ok(Record::Reported { who, event, values: values(r, 29)? })
+        }
+        120 => {
+            let (server, outcome) = (ServerId(u32_at(r, 5)), outcome(u16_at(r, 9))?);
+            let event = Event::Probed { server, outcome, report: Report::new() };
+            Ok(Record::Reported { who, event, values: values(r, 19)? })
+        }
+        100 => front(Event::Left(request)),
+        40 => front(Event::Timer(u32_at(r, 5))),
+        30 => front(Event::Told { from: u32_at(r, 5), bytes: slice(tail, r, 9, 1)?.to_vec() }),
+        code => Err(format!("unknown event code {code}")),
+    }
+}
+
+/// Puts the fields' names to the values of a report.
+pub fn name_report(event: &mut Event, values: &[f64], fields: &[LoadField]) {
+    if let Event::Ended { report, .. } | Event::Probed { report, .. } = event {
+        *report = fields.iter().copied().zip(values.iter().copied()).collect();
+    }
+}
+
+fn listing(e: &[u8]) -> Result<Listing, String> {
+    let phase = match e[9] {
+        0 => Phase::Gone,
+        1 => Phase::Ready,
+        2 => Phase::Draining,
+        p => return Err(format!("list entry: unknown phase {p}")),
+    };
+    Ok(Listing {
+        server: ServerId(u32_at(e, 0)),
+        zone: e[4],
+        kind: u16_at(e, 5),
+        cell: u16_at(e, 7),
+        phase,
+        weight: f64::from(f32_at(e, 10)),
+        since: Time(u64_at(e, 14)),
+    })
+}
+
+fn outcome(code: u16) -> Result<Outcome, String> {
+    Ok(match code {
+        200 => Outcome::Ok,
+        500 => Outcome::Error,
+        503 => Outcome::Full,
+        504 => Outcome::Timeout,
+        502 => Outcome::ConnectFailed,
+        598 => Outcome::Reset,
+        499 => Outcome::Cancelled,
+        410 => Outcome::Moot,
+        c => return Err(format!("unknown outcome {c}")),
+    })
+}
+
+fn values(r: &[u8], at: usize) -> Result<Vec<f64>, String> {
+    match r[at] as usize {
+        n if n > 4 => Err(format!("a load report of {n} values")),
+        n => Ok((0..n).map(|i| f64::from(f32_at(r, at + 1 + 4 * i))).collect()),
+    }
+}
+
+fn slice<'a>(tail: &'a [u8], r: &[u8], at: usize, unit: usize) -> Result<&'a [u8], String> {
+    let (from, count) = (u32_at(r, at) as usize, u32_at(r, at + 4) as usize);
+    let range = count.checked_mul(unit).and_then(|n| from.checked_add(n)).and_then(|to| tail.get(from..to));
+    range.ok_or_else(|| {
+        format!("offset {from} with {count} items lies outside the tail of {} bytes", tail.len())
+    })
+}
+
+fn whole(r: &[u8], at: usize) -> Result<u32, String> {
+    let v = f32_at(r, at);
+    if v.is_finite() && (0.0..65536.0).contains(&v) {
+        Ok(v.round() as u32)
+    } else {
+        Err(format!("{v} at byte {at} is not a small whole number"))
+    }
+}
+
+fn u16_at(b: &[u8], at: usize) -> u16 {
+    u16::from_le_bytes([b[at], b[at + 1]])
+}
+
+fn u32_at(b: &[u8], at: usize) -> u32 {
+    u32::from_le_bytes([b[at], b[at + 1], b[at + 2], b[at + 3]])
+}
+
+fn u64_at(b: &[u8], at: usize) -> u64 {
+    u64::from(u32_at(b, at)) | u64::from(u32_at(b, at + 4)) << 32
+}
+
+fn f32_at(b: &[u8], at: usize) -> f32 {
+    f32::from_bits(u32_at(b, at))
+}
+
+/// A reply under way.
+#[derive(Default)]
+pub struct Reply {
+    records: Vec<u8>,
+    tail: Vec<u8>,
+}
+
+impl Reply {
+    fn record(&mut self, code: u8, who: u32, fields: &[&[u8]]) {
+        let end = self.records.len() + ACTION_BYTES;
+        self.records.push(code);
+        self.records.extend_from_slice(&who.to_le_bytes());
+        for field in fields {
+            self.records.extend_from_slice(field);
+        }
+        self.records.resize(end, 0);
+    }
+
+    fn text(&mut self, bytes: &[u8]) -> [u8; 8] {
+        let place = (self.tail.len() as u64) | (bytes.len() as u64) << 32;
+        self.tail.extend_from_slice(bytes);
+        place.to_le_bytes()
+    }
+
+    /// Declares that the decision code of an instance failed.
+    pub fn die(&mut self, who: u32, why: &str) {
+        let place = self.text(why.as_bytes());
+        self.record(10, who, &[&place]);
+    }
+
+    /// Adds an instance's action.
+    pub fn push(&mut self, who: u32, action: &Action) {
+        let id = |r: &RequestId| r.0.to_le_bytes();
+        match action {
+            Action::Attempt { request, server, timeout } => {
+                self.record(120, who, &[&id(request), &timeout.to_le_bytes(), &server.0.to_le_bytes()])
+            }
+            Action::Rung { request, rung } => self.record(50, who, &[&id(request), &[*rung]]),
+            Action::Reject { request, stay_away } => {
+                self.record(80, who, &[&id(request), &stay_away.to_le_bytes()])
+            }
+            Action::Fail(request) => self.record(40, who, &[&id(request)]),
+            Action::Cancel { request, attempt } => self.record(60, who, &[&id(request), &[*attempt]]),
+            Action::Move(request) => self.record(70, who, &[&id(request)]),
+            Action::Wake { at, token } => self.record(130, who, &[&at.0.to_le_bytes(), &token.to_le_bytes()]),
+            Action::Probe(server) => self.record(110, who, &[&server.0.to_le_bytes()]),
+            Action::Subscribe => self.record(140, who, &[&[1]]),
+            Action::FetchRoster => self.record(20, who, &[]),
+            Action::Tell(bytes) => {
+                let place = self.text(bytes);
+                self.record(90, who, &[&u32::MAX.to_le_bytes(), &place])
+            }
+            Action::Log(line) => {
+                let place = self.text(line.as_bytes());
+                self.record(30, who, &[&place])
+            }
+        }
+    }
+
+    /// Writes and flushes the reply to batch `number`, and empties itself.
+    pub fn send(&mut self, number: u32, output: &mut impl Write) -> io::Result<()> {
+        let count = (self.records.len() / ACTION_BYTES) as u32;
+        let size = (self.records.len() + self.tail.len() + 4) as u32;
+        for word in [number, size, count] {
+            output.write_all(&word.to_le_bytes())?;
+        }
+        output.write_all(&self.records)?;
+        output.write_all(&self.tail)?;
+        self.records.clear();
+        self.tail.clear();
+        output.flush()
+    }
+}
--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,1048 @@
+//! Every decision of a front; its types, events and actions are in `src/interface.rs`.
+//!
+//! Each front splits every link into slot regions, one a rung, sized by a loss-queue model of the arrival rate;
+//! it admits from the top down with spill-over and raises lower sessions when slots free. Sections: beliefs about
+//! servers and links; regions; admission; raises; attempts, time-outs and refusals; guards.
+use crate::interface::*;
+use std::collections::{BTreeMap, VecDeque};
+
+const SECOND: u64 = 1_000_000_000;
+/// Part of a link or uplink that slots may fill.
+const HEADROOM: f64 = 0.9;
+/// Below this part of link and uplink a session gets the highest rung that fits.
+const LOW_MARK: f64 = 0.8;
+/// Regions are sized anew, and arrivals counted, over this time.
+const RESIZE: u64 = 10 * SECOND;
+/// A session is raised once in this time at most.
+const RAISE_PAUSE: u64 = 30 * SECOND;
+/// A lowered session is raised no sooner.
+const LOWER_PAUSE: u64 = 6 * SECOND;
+/// Measured ask over give beyond which playing sessions are lowered, and what they are lowered to.
+const OVERRUN: f64 = 1.03;
+const RELIEF: f64 = 0.95;
+/// Weight of a new measurement against what was believed.
+const TRUST: f64 = 0.6;
+/// Session length believed before any has ended, and the ends that this counts for.
+const FIRST_LENGTH: f64 = 30.0;
+const FIRST_ENDS: f64 = 3.0;
+/// First and longest pause of a server that failed us; successes in a row that clear it.
+const FIRST_BLOCK: u64 = SECOND;
+const LONGEST_BLOCK: u64 = 8 * SECOND;
+const CLEARING: u32 = 3;
+/// A tenant's rate over its share, and the seconds of it at once, that still count as within it.
+const TENANT_SLACK: f64 = 1.15;
+const TENANT_BURST: f64 = 3.0;
+/// Part of the pace that may push over a cold server which the fronts use.
+const COLD_PART: f64 = 0.6;
+
+/// Belief about what is asked of a link or uplink over what it gives.
+#[derive(Clone, Default)]
+struct Gauge {
+    x: f64,
+    heard: Option<Time>,
+    own: VecDeque<(Time, f64)>,
+}
+
+impl Gauge {
+    /// Our own change, as a part of what is given.
+    fn change(&mut self, now: Time, part: f64) {
+        self.x = (self.x + part).max(0.0);
+        self.own.push_back((now, part));
+        while self.own.front().is_some_and(|&(t, _)| now.0.saturating_sub(t.0) > 8 * SECOND) {
+            self.own.pop_front();
+        }
+    }
+
+    /// A measurement of `age` ago: own changes since then are added to it.
+    fn measure(&mut self, now: Time, value: f64, age: u64) {
+        if !value.is_finite() || value < 0.0 {
+            return;
+        }
+        let from = now.0.saturating_sub(age);
+        let fresh = value + self.own.iter().filter(|&&(t, _)| t.0 > from).map(|&(_, p)| p).sum::<f64>();
+        let trust = if self.heard.is_none() || (fresh - self.x).abs() > 0.3 { 1.0 } else { TRUST };
+        self.x = (self.x + trust * (fresh - self.x)).max(0.0);
+        self.heard = Some(now);
+    }
+}
+
+struct Server {
+    phase: Phase,
+    zone: u8,
+    cell: u16,
+    rack: usize,
+    link: f64,
+    places: f64,
+    since: Time,
+    gauge: Gauge,
+    /// Our sessions' rates, in all and by region, and their number.
+    use_kb: f64,
+    region_kb: Vec<f64>,
+    ours: u32,
+    /// Slots of each region, and arrivals counted since they were last sized.
+    slots: Vec<u32>,
+    arrivals: f64,
+    rate: f64,
+    flights: BTreeMap<RequestId, Time>,
+    blocked: Time,
+    block: u64,
+    good: u32,
+    broke: bool,
+    cold_until: Time,
+    next_cold: Time,
+    next_relief: Time,
+}
+
+struct Session {
+    ask: Ask,
+    rung: u8,
+    region: usize,
+    server: Option<ServerId>,
+    attempts: u32,
+    flying: bool,
+    playing: bool,
+    closed: bool,
+    /// Where and when the first attempt went that may have run.
+    ran: Option<(ServerId, Time)>,
+    sent: Time,
+    started: Time,
+    noted: bool,
+    waiting: Time,
+    hold: Time,
+    tried: Vec<ServerId>,
+}
+
+/// The decisions of one front.
+pub struct Front {
+    s: Settings,
+    rng: oorandom::Rand32,
+    servers: BTreeMap<ServerId, Server>,
+    sessions: BTreeMap<RequestId, Session>,
+    uplinks: Vec<Gauge>,
+    uplink_kb: Vec<f64>,
+    shared: BTreeMap<(ServerId, u64, u8, u8), u32>,
+    seats: BTreeMap<(u8, u64), u32>,
+    tenants: Vec<(f64, Time)>,
+    taken: VecDeque<Time>,
+    extras: VecDeque<Time>,
+    ends: f64,
+    seconds: f64,
+    setup: f64,
+    ticked: Option<Time>,
+    sized: Option<Time>,
+    listed: Time,
+}
+
+fn after(t: Time, d: u64) -> Time {
+    Time(t.0.saturating_add(d))
+}
+
+// ---- regions ----
+
+/// Probability that a loss queue with `slots` places and `offered` erlangs turns an arrival away (Erlang B).
+pub fn erlang_b(offered: f64, slots: u32) -> f64 {
+    if offered.is_nan() || offered <= 0.0 {
+        return if slots == 0 { 1.0 } else { 0.0 };
+    }
+    (1..=slots).fold(1.0, |b, n| offered * b / (f64::from(n) + offered * b))
+}
+
+/// Eq. 1 over the mean session length: the worth that regions of `slots` (lowest rung first) earn a second.
+pub fn benefit(offered: f64, slots: &[u32], worth: &[f64], penalty: f64) -> f64 {
+    let mut spilled = offered;
+    let mut sum = 0.0;
+    for (n, w) in slots.iter().zip(worth).rev() {
+        let lost = spilled * erlang_b(spilled, *n);
+        sum += (spilled - lost) * w;
+        spilled = lost;
+    }
+    sum - penalty * spilled
+}
+
+/// The regions that earn most: slots for each rung (lowest first) whose rates fit `budget` and whose number fits
+/// `places`. A climb by single slots and swaps from each all-one-rung start, bounded in steps.
+pub fn best_regions(offered: f64, kb: &[f64], worth: &[f64], budget: f64, places: u32) -> Vec<u32> {
+    let penalty = worth.first().copied().unwrap_or(0.0);
+    let value = |n: &[u32]| benefit(offered, n, worth, penalty);
+    let used = |n: &[u32]| n.iter().zip(kb).map(|(n, k)| f64::from(*n) * k).sum::<f64>();
+    let fits = |n: &[u32]| used(n) <= budget + 1e-9 && n.iter().sum::<u32>() <= places;
+    let mut best = vec![0; kb.len()];
+    let mut best_value = value(&best);
+    for start in 0..kb.len() {
+        let mut n = vec![0; kb.len()];
+        n[start] = if kb[start] > 0.0 { ((budget / kb[start]).max(0.0) as u32).min(places) } else { 0 };
+        let mut current = value(&n);
+        for _ in 0..200 {
+            let mut next: Option<(f64, Vec<u32>)> = None;
+            for to in 0..kb.len() {
+                for from in 0..kb.len() {
+                    let mut m = n.clone();
+                    m[to] += 1;
+                    while from != to && !fits(&m) && m[from] > 0 {
+                        m[from] -= 1;
+                    }
+                    let v = if fits(&m) { value(&m) } else { f64::NEG_INFINITY };
+                    if v > current + 1e-9 && next.as_ref().is_none_or(|(b, _)| v > *b) {
+                        next = Some((v, m));
+                    }
+                }
+            }
+            let Some((v, m)) = next else { break };
+            (current, n) = (v, m);
+        }
+        if current > best_value {
+            (best_value, best) = (current, n);
+        }
+    }
+    best
+}
+
+impl Front {
+    /// A front that has heard nothing yet.
+    pub fn new(settings: Settings, seed: u64, now: Time) -> Front {
+        let racks = settings.racks.max(1) as usize;
+        Front {
+            rng: oorandom::Rand32::new(seed),
+            servers: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            uplinks: vec![Gauge::default(); racks],
+            uplink_kb: vec![settings.uplink_kb.max(1.0); racks],
+            shared: BTreeMap::new(),
+            seats: BTreeMap::new(),
+            tenants: settings.tenant_quota.iter().map(|_| (0.0, now)).collect(),
+            taken: VecDeque::new(),
+            extras: VecDeque::new(),
+            ends: FIRST_ENDS,
+            seconds: FIRST_ENDS * FIRST_LENGTH,
+            setup: 0.15 * SECOND as f64,
+            ticked: None,
+            sized: None,
+            listed: now,
+            s: settings,
+        }
+    }
+
+    /// Takes an event and adds what is to be done for it to `out`, in order.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        if self.ticked.is_none() {
+            self.ticked = Some(now);
+            out.push(Action::Wake { at: after(now, SECOND), token: 0 });
+            if self.s.must_ask {
+                out.push(Action::Subscribe);
+            }
+        }
+        match event {
+            Event::Roster(kind, entries) => self.roster(now, kind, entries, out),
+            Event::Ask(ask) => self.ask(now, ask, out),
+            Event::Adopted(ask, server) => self.adopted(now, ask, server),
+            Event::Playing { request, server, took, .. } => self.playing(now, request, server, took),
+            Event::Note { request, server, note } => self.note(now, request, server, note, out),
+            Event::Ended { request, server, outcome, closed, report, .. } => {
+                self.ended(now, request, server, outcome, closed, &report, out)
+            }
+            Event::Left(request) => {
+                if let Some(session) = self.sessions.get_mut(&request) {
+                    session.closed = true;
+                    if !session.flying {
+                        self.sessions.remove(&request);
+                    }
+                }
+            }
+            Event::Timer(_) => self.tick(now, out),
+            Event::Probed { server, report, .. } => self.report(now, server, &report),
+            Event::Told { .. } => {}
+        }
+    }
+
+    // ---- beliefs about servers and links ----
+
+    fn roster(&mut self, now: Time, kind: RosterKind, entries: Vec<Listing>, out: &mut Vec<Action>) {
+        if kind == RosterKind::Failed {
+            if self.s.must_ask && now.0.saturating_sub(self.listed.0) > SECOND {
+                self.listed = now;
+                out.push(Action::Subscribe);
+            }
+            return;
+        }
+        self.listed = now;
+        if kind != RosterKind::Delta {
+            for (id, server) in self.servers.iter_mut() {
+                if !entries.iter().any(|e| e.server == *id) {
+                    server.phase = Phase::Gone;
+                }
+            }
+        }
+        for e in entries {
+            let rungs = self.s.rung_kb.len();
+            let weight = if e.weight.is_finite() && e.weight > 0.0 { e.weight } else { 1.0 };
+            let server = self.servers.entry(e.server).or_insert_with(|| Server {
+                phase: e.phase,
+                zone: e.zone,
+                cell: e.cell,
+                rack: 0,
+                link: 1.0,
+                places: f64::INFINITY,
+                since: Time(0),
+                gauge: Gauge::default(),
+                use_kb: 0.0,
+                region_kb: vec![0.0; rungs],
+                ours: 0,
+                slots: vec![0; rungs],
+                arrivals: 0.0,
+                rate: 0.0,
+                flights: BTreeMap::new(),
+                blocked: Time(0),
+                block: 0,
+                good: CLEARING,
+                broke: false,
+                cold_until: Time(0),
+                next_cold: Time(0),
+                next_relief: Time(0),
+            });
+            server.phase = e.phase;
+            server.zone = e.zone;
+            server.cell = e.cell;
+            server.rack = usize::from(e.cell) % self.uplinks.len();
+            server.link = (self.s.link_kb * weight).max(1.0);
+            server.places = self.s.places.get(usize::from(e.kind)).map_or(f64::INFINITY, |p| f64::from(*p));
+            if e.since > server.since {
+                server.since = e.since;
+                let cold_until = after(e.since, self.s.cold);
+                if cold_until > now {
+                    server.cold_until = cold_until.max(server.cold_until);
+                    server.broke = false;
+                    server.blocked = now;
+                    let phase = self.rng.rand_float();
+                    server.next_cold = after(now, (f64::from(phase) * self.s.fall as f64) as u64);
+                }
+            }
+        }
+    }
+
+    fn report(&mut self, now: Time, id: ServerId, report: &Report) {
+        let Some(server) = self.servers.get_mut(&id) else {
+            return;
+        };
+        for &(field, value) in report {
+            match field {
+                LoadField::LinkAsked => server.gauge.measure(now, value, SECOND / 3),
+                LoadField::LinkUtil if value < 0.97 => server.gauge.measure(now, value, SECOND / 3),
+                LoadField::LinkUtil => server.gauge.x = server.gauge.x.max(1.0),
+                LoadField::UplinkAsked => self.uplinks[server.rack].measure(now, value, SECOND / 3),
+                _ => {}
+            }
+        }
+    }
+
+    /// Mean fill of the servers that were heard; before any was, what our own sessions make likely.
+    fn mean_fill(&self) -> f64 {
+        let heard = self.servers.values().filter(|s| s.phase != Phase::Gone && s.gauge.heard.is_some());
+        let (n, sum) = heard.fold((0.0, 0.0), |(n, sum), s| (n + 1.0, sum + s.gauge.x));
+        let own: f64 = self.servers.values().map(|s| s.use_kb).sum();
+        if n > 0.0 {
+            sum / n
+        } else {
+            own * f64::from(self.s.siblings) / self.s.fleet_kb.max(1.0)
+        }
+    }
+
+    fn fill(&self, server: &Server, mean: f64) -> f64 {
+        if server.gauge.heard.is_some() {
+            server.gauge.x
+        } else {
+            mean.max(server.gauge.x)
+        }
+    }
+
+    fn uplink_fill(&self, rack: usize, mean: f64) -> f64 {
+        if self.uplinks[rack].heard.is_some() {
+            return self.uplinks[rack].x;
+        }
+        let up = self.servers.values().filter(|s| s.rack == rack && s.phase != Phase::Gone);
+        up.map(|s| self.fill(s, mean).min(1.2) * s.link).sum::<f64>() / self.uplink_kb[rack]
+    }
+
+    fn kb(&self, class: u8, rung: u8) -> f64 {
+        let factor = self.s.classes.get(usize::from(class)).map_or(1.0, |c| c.rate_factor);
+        self.s.rung_kb.get(usize::from(rung)).copied().unwrap_or(0.0) * factor
+    }
+
+    /// Books a session's rate at its server; viewers of a live title share a stream.
+    fn book(&mut self, now: Time, request: RequestId, add: bool) {
+        let Some(session) = self.sessions.get(&request) else {
+            return;
+        };
+        let Some(id) = session.server else { return };
+        let (class, rung, region) = (session.ask.class, session.rung, session.region);
+        let mut kb = self.kb(class, rung);
+        if self.s.classes.get(usize::from(class)).is_some_and(|c| c.live) {
+            let count = self.shared.entry((id, session.ask.title, class, rung)).or_insert(0);
+            let others = if add { *count } else { count.saturating_sub(1) };
+            kb *= if others > 0 { self.s.join } else { 1.0 };
+            *count = if add { *count + 1 } else { others };
+        }
+        let Some(server) = self.servers.get_mut(&id) else {
+            return;
+        };
+        let signed = if add { kb } else { -kb };
+        server.use_kb = (server.use_kb + signed).max(0.0);
+        server.region_kb[region] = (server.region_kb[region] + signed).max(0.0);
+        server.ours = if add { server.ours + 1 } else { server.ours.saturating_sub(1) };
+        server.gauge.change(now, signed / server.link);
+        self.uplinks[server.rack].change(now, signed / self.uplink_kb[server.rack]);
+    }
+
+    fn note(&mut self, now: Time, request: RequestId, id: ServerId, note: Note, out: &mut Vec<Action>) {
+        let mut age = self.s.note_delay;
+        if let (Some(session), Note::Link(_)) = (self.sessions.get_mut(&request), note) {
+            if !session.noted && now.0.saturating_sub(session.started.0) < SECOND / 3 {
+                age = 0;
+            }
+            session.noted = true;
+        }
+        match note {
+            Note::Rung(rung) => {
+                let Some(session) = self.sessions.get(&request) else {
+                    return;
+                };
+                if session.rung != rung && usize::from(rung) < self.s.rung_kb.len() {
+                    self.book(now, request, false);
+                    if let Some(session) = self.sessions.get_mut(&request) {
+                        (session.rung, session.region) = (rung, usize::from(rung));
+                    }
+                    self.book(now, request, true);
+                }
+            }
+            Note::Link(x) => {
+                if let Some(server) = self.servers.get_mut(&id) {
+                    server.gauge.measure(now, x, age);
+                }
+            }
+            Note::Uplink(x) => {
+                if let Some(server) = self.servers.get(&id) {
+                    self.uplinks[server.rack].measure(now, x, age);
+                }
+            }
+            Note::Delivered(share) => self.delivered(now, id, share),
+        }
+        self.relieve(now, id, out);
+    }
+
+    /// A short delivery is laid to the link, to the uplink, or else to the server itself.
+    fn delivered(&mut self, now: Time, id: ServerId, share: f64) {
+        let mean = self.mean_fill();
+        let Some(server) = self.servers.get(&id) else {
+            return;
+        };
+        if !share.is_finite() || share >= 0.98 {
+            return;
+        }
+        let (link, rack) = (self.fill(server, mean), server.rack);
+        if link * share > 0.93 {
+            return;
+        }
+        if share < 0.3 {
+            // Danger: a server that stands still takes set-ups and delivers nothing.
+            if let Some(server) = self.servers.get_mut(&id) {
+                server.trouble(now);
+            }
+        } else if self.uplinks[rack].heard.is_none() {
+            // Without reports of the uplink, what it gives is learnt from what it fails to deliver.
+            let asked = self.uplink_fill(rack, mean) * self.uplink_kb[rack];
+            self.uplink_kb[rack] += 0.5 * (asked * share - self.uplink_kb[rack]);
+            self.uplink_kb[rack] = self.uplink_kb[rack].max(1.0);
+        }
+    }
+
+    // ---- regions ----
+
+    /// Mean length of a session in seconds, from what ended and what is still watched.
+    fn length(&self) -> f64 {
+        self.seconds / self.ends.max(1.0)
+    }
+
+    fn mean_factor(&self) -> f64 {
+        let playing = self.sessions.values().filter(|s| s.server.is_some());
+        let (n, sum) = playing.fold((0.0, 0.0), |(n, sum), s| {
+            (n + 1.0, sum + self.s.classes.get(usize::from(s.ask.class)).map_or(1.0, |c| c.rate_factor))
+        });
+        if n > 0.0 {
+            sum / n
+        } else {
+            1.0
+        }
+    }
+
+    /// Sizes every link's regions for the arrivals counted since they were last sized.
+    fn resize(&mut self, now: Time) {
+        let siblings = f64::from(self.s.siblings.max(1));
+        let mean = self.mean_fill();
+        let up = |s: &&Server| s.phase == Phase::Ready;
+        let n = self.servers.values().filter(up).count().max(1) as f64;
+        let own: f64 = self.servers.values().map(|s| s.use_kb).sum();
+        let all: f64 = self.servers.values().filter(up).map(|s| self.fill(s, mean) * s.link).sum();
+        let scale = if own > 0.0 { (all / own).clamp(1.0, 2.0 * siblings) } else { siblings };
+        let factor = self.mean_factor();
+        let length = self.length();
+        let kb: Vec<f64> = self.s.rung_kb.iter().map(|k| k * factor).collect();
+        let past = self.sized.map(|t| now.0.saturating_sub(t.0) as f64 / SECOND as f64);
+        let sessions = self.sessions.values().filter(|s| s.server.is_some()).count() as f64;
+        let total: f64 = self.servers.values().filter(up).map(|s| s.arrivals).sum();
+        let uplinks: Vec<f64> = (0..self.uplinks.len())
+            .map(|rack| {
+                let links: f64 =
+                    self.servers.values().filter(|s| s.rack == rack && up(s)).map(|s| s.link).sum();
+                (self.uplink_kb[rack] / links.max(1.0)).min(1.0)
+            })
+            .collect();
+        for server in self.servers.values_mut() {
+            let offered = match past {
+                None => sessions / n * siblings,
+                Some(past) => {
+                    let fresh = 0.5 * (server.arrivals + total / n) / past.max(1.0);
+                    server.rate = if server.rate > 0.0 { 0.5 * (server.rate + fresh) } else { fresh };
+                    server.rate * scale * length
+                }
+            };
+            server.arrivals = 0.0;
+            let budget = HEADROOM * server.link * uplinks[server.rack];
+            let places = server.places.min(10_000.0) as u32;
+            server.slots = best_regions(offered, &kb, &self.s.rung_worth, budget, places);
+        }
+        self.sized = Some(now);
+    }
+
+    // ---- admission ----
+
+    fn holders(&self, ask: &Ask) -> Vec<ServerId> {
+        let cells = self.s.cells.max(1);
+        let holds = |s: &Server| (u32::from(s.cell) + cells - ask.first_cell % cells) % cells < ask.copies;
+        let cells_ok = |s: &Server| u32::from(s.cell) < cells;
+        self.servers.iter().filter(|(_, s)| cells_ok(s) && holds(s)).map(|(id, _)| *id).collect()
+    }
+
+    /// The region and rung that a server offers: `held` is what the session has there already.
+    fn offer(
+        &self,
+        ask: &Ask,
+        id: ServerId,
+        mean: f64,
+        factor: f64,
+        held: Option<(usize, u8)>,
+    ) -> Option<(usize, u8)> {
+        let server = self.servers.get(&id)?;
+        let class = self.s.classes.get(usize::from(ask.class))?;
+        let top = ask.top.min(class.top).min(self.s.rung_kb.len() as u8 - 1);
+        let fair = if held.is_some() { f64::from(self.s.siblings.max(1)) } else { 1.0 };
+        let held_kb = held.map_or(0.0, |(_, rung)| self.kb(ask.class, rung));
+        let (link, uplink) = (self.fill(server, mean), self.uplink_fill(server.rack, mean));
+        let others = (link * server.link - server.use_kb).max(0.0);
+        let mix: f64 = self.servers.values().map(|s| s.use_kb).sum();
+        if held.is_none() && server.use_kb > 0.0 {
+            let streams = f64::from(server.ours) * (1.0 + others / server.use_kb);
+            if streams + 1.0 > server.places {
+                return None;
+            }
+        }
+        for region in (0..self.s.rung_kb.len()).rev() {
+            let rung = top.min(region as u8);
+            if rung < class.floor {
+                break;
+            }
+            let kb = self.kb(ask.class, rung);
+            let more = (kb - held_kb) * fair;
+            let fits = |mark: f64| {
+                link + more / server.link <= mark && uplink + more / self.uplink_kb[server.rack] <= mark
+            };
+            if fits(LOW_MARK) {
+                return Some((usize::from(rung), rung));
+            }
+            if !fits(HEADROOM) {
+                continue;
+            }
+            let spread: f64 = if mix > 0.0 {
+                self.servers.values().map(|s| s.region_kb[region]).sum::<f64>() / mix
+            } else {
+                1.0 / self.s.rung_kb.len() as f64
+            };
+            let inside = held.is_some_and(|(r, _)| r == region);
+            let occupied = server.region_kb[region] + others * spread - if inside { held_kb } else { 0.0 };
+            let slot = self.s.rung_kb[region] * factor;
+            if occupied + kb <= (f64::from(server.slots[region]) + 0.5) * slot {
+                return Some((region, rung));
+            }
+        }
+        // Regions lag behind and rates are rough: while the link is measured to have room, the lowest rung goes.
+        let kb = self.kb(ask.class, class.floor);
+        let room =
+            link + kb / server.link <= HEADROOM && uplink + kb / self.uplink_kb[server.rack] <= HEADROOM;
+        (held.is_none() && room && class.floor <= top).then_some((usize::from(class.floor), class.floor))
+    }
+
+    /// Whether a server may be sent a set-up now.
+    fn usable(&self, now: Time, server: &Server, free: bool) -> bool {
+        let slow = (4.0 * self.setup).max(0.3 * SECOND as f64) as u64;
+        let stuck = server.flights.values().any(|t| now.0.saturating_sub(t.0) > slow);
+        let trial = server.good < CLEARING;
+        server.phase == Phase::Ready
+            && now >= server.blocked
+            && !stuck
+            && !(trial && (!free || !server.flights.is_empty()))
+            && !(self.is_cold(now, server) && now < server.next_cold)
+    }
+
+    fn is_cold(&self, now: Time, server: &Server) -> bool {
+        server.broke || now < server.cold_until
+    }
+
+    /// Two random holders: the higher rung offered, then the lighter; the others only when both are full.
+    fn choose(&mut self, now: Time, request: RequestId, over_share: bool) -> Option<(ServerId, usize, u8)> {
+        let session = self.sessions.get(&request)?;
+        let ask = session.ask.clone();
+        let class = self.s.classes.get(usize::from(ask.class))?;
+        let free = class.effect == Effect::Free;
+        let floor = class.floor;
+        let mut ids = self.holders(&ask);
+        ids.retain(|id| {
+            let server = &self.servers[id];
+            self.usable(now, server, free) && !session.tried.contains(id) && self.in_group(session, server)
+        });
+        for i in (1..ids.len()).rev() {
+            let j = self.rng.rand_range(0..i as u32 + 1) as usize;
+            ids.swap(i, j);
+        }
+        let (mean, factor) = (self.mean_fill(), self.mean_factor());
+        for pair in ids.chunks(2) {
+            let mut best: Option<(ServerId, usize, u8, f64)> = None;
+            for id in pair {
+                let server = &self.servers[id];
+                let mut fill = self.fill(server, mean).max(self.uplink_fill(server.rack, mean));
+                fill += if server.zone != self.s.zone { self.s.cross_zone_price } else { 0.0 };
+                let Some((mut region, mut rung)) = self.offer(&ask, *id, mean, factor, None) else {
+                    continue;
+                };
+                if over_share {
+                    if fill > LOW_MARK {
+                        continue;
+                    }
+                    (region, rung) = (usize::from(floor), floor);
+                }
+                let better = best.is_none_or(|(_, _, r, f)| rung > r || (rung == r && fill < f));
+                if better {
+                    best = Some((*id, region, rung, fill));
+                }
+            }
+            if let Some((id, region, rung, _)) = best {
+                return Some((id, region, rung));
+            }
+        }
+        None
+    }
+
+    // ---- raises ----
+
+    /// Raises sessions at a server, the nearest lower region first and the longest waiting in it.
+    fn raise(&mut self, now: Time, id: ServerId, out: &mut Vec<Action>) {
+        let Some(server) = self.servers.get(&id) else {
+            return;
+        };
+        if server.phase == Phase::Gone || now < server.blocked {
+            return;
+        }
+        let mean = self.mean_fill();
+        let mut waiting: Vec<_> = self
+            .sessions
+            .iter()
+            .filter(|(_, s)| s.server == Some(id) && s.playing && now >= s.hold && !s.closed)
+            .map(|(r, s)| (std::cmp::Reverse(s.region), s.waiting, *r))
+            .collect();
+        waiting.sort();
+        let factor = self.mean_factor();
+        for (_, _, request) in waiting {
+            let Some(session) = self.sessions.get(&request) else {
+                continue;
+            };
+            let held = (session.region, session.rung);
+            let Some((region, rung)) = self.offer(&session.ask, id, mean, factor, Some(held)) else {
+                continue;
+            };
+            if rung <= held.1 {
+                continue;
+            }
+            let left = match session.ask.hint {
+                Some(hint) => (hint as f64 - now.0.saturating_sub(session.started.0) as f64) / SECOND as f64,
+                None => self.length(),
+            };
+            let gain = self.s.rung_worth[usize::from(rung)] - self.s.rung_worth[usize::from(held.1)];
+            if gain * left <= self.s.switch_seconds {
+                continue;
+            }
+            self.set_rung(now, request, region, rung, RAISE_PAUSE, out);
+        }
+    }
+
+    fn set_rung(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        region: usize,
+        rung: u8,
+        hold: u64,
+        out: &mut Vec<Action>,
+    ) {
+        self.book(now, request, false);
+        if let Some(session) = self.sessions.get_mut(&request) {
+            (session.region, session.rung) = (region, rung);
+            (session.waiting, session.hold) = (now, after(now, hold));
+            out.push(Action::Rung { request, rung });
+        }
+        self.book(now, request, true);
+    }
+
+    /// Departure: where a link or uplink is measured to be overrun, each front lowers its part of the excess.
+    fn relieve(&mut self, now: Time, id: ServerId, out: &mut Vec<Action>) {
+        let mean = self.mean_fill();
+        let Some(server) = self.servers.get(&id) else {
+            return;
+        };
+        let (link, uplink) = (self.fill(server, mean), self.uplink_fill(server.rack, mean));
+        let x = link.max(uplink);
+        if x <= OVERRUN || now < server.next_relief {
+            return;
+        }
+        let mut need = server.use_kb * (1.0 - RELIEF / x);
+        let mut rungs: BTreeMap<RequestId, u8> = self
+            .sessions
+            .iter()
+            .filter(|(_, s)| s.server == Some(id) && s.playing && !s.closed)
+            .map(|(r, s)| (*r, s.rung))
+            .collect();
+        let was = rungs.clone();
+        while need > 0.0 {
+            let mut best: Option<(f64, f64, RequestId)> = None;
+            for (request, rung) in &rungs {
+                let ask = &self.sessions[request].ask;
+                let Some(class) = self.s.classes.get(usize::from(ask.class)) else {
+                    continue;
+                };
+                if *rung <= class.floor {
+                    continue;
+                }
+                let worth = |r: u8| self.s.rung_worth[usize::from(r)] * class.worth;
+                let saved = self.kb(ask.class, *rung) - self.kb(ask.class, *rung - 1);
+                let price = (worth(*rung) - worth(*rung - 1)) / saved.max(1e-9);
+                if best.is_none_or(|(p, _, _)| price < p) {
+                    best = Some((price, saved, *request));
+                }
+            }
+            let Some((_, saved, request)) = best else { break };
+            need -= saved;
+            rungs.entry(request).and_modify(|r| *r -= 1);
+        }
+        for (request, rung) in rungs {
+            if was[&request] != rung {
+                self.set_rung(now, request, usize::from(rung), rung, LOWER_PAUSE, out);
+            }
+        }
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.next_relief = after(now, self.s.note_delay + SECOND);
+        }
+    }
+
+    // ---- attempts, time-outs and refusals ----
+
+    fn ask(&mut self, now: Time, ask: Ask, out: &mut Vec<Action>) {
+        if self.sized.is_none() {
+            self.resize(now);
+        }
+        self.taken.push_back(now);
+        let holders = self.holders(&ask);
+        let able: Vec<_> = holders.into_iter().filter(|id| self.servers[id].phase == Phase::Ready).collect();
+        for id in &able {
+            if let Some(server) = self.servers.get_mut(id) {
+                server.arrivals += 1.0 / able.len() as f64;
+            }
+        }
+        let over = self.over_share(now, ask.tenant);
+        let request = ask.request;
+        if self.sessions.contains_key(&request) {
+            return;
+        }
+        self.sessions.insert(request, Session::new(ask, now));
+        self.next(now, request, over, out);
+    }
+
+    /// Sends the next attempt, or gives the final answer at once.
+    fn next(&mut self, now: Time, request: RequestId, over_share: bool, out: &mut Vec<Action>) {
+        let Some(session) = self.sessions.get(&request) else {
+            return;
+        };
+        let seat = self.has_seat(&session.ask);
+        let may = seat && self.may_attempt(now, request);
+        let chosen = if may { self.choose(now, request, over_share) } else { None };
+        let Some(session) = self.sessions.get_mut(&request) else {
+            return;
+        };
+        let Some((id, region, rung)) = chosen else {
+            let rejected = match self.s.classes.get(usize::from(session.ask.class)).map(|c| c.effect) {
+                None | Some(Effect::Free) | Some(Effect::Guarded(Group::All)) => true,
+                Some(_) => session.ran.is_none(),
+            };
+            self.sessions.remove(&request);
+            out.push(match rejected {
+                true => Action::Reject { request, stay_away: self.s.stay_away_cap },
+                false => Action::Fail(request),
+            });
+            return;
+        };
+        let class = &self.s.classes[usize::from(session.ask.class)];
+        let left = session.ask.deadline.0.saturating_sub(now.0);
+        let part = (class.aim / 2).max((4.0 * self.setup) as u64);
+        let timeout = if class.effect == Effect::SingleShot { 0 } else { part.min(left) };
+        session.attempts += 1;
+        (session.server, session.region, session.rung) = (Some(id), region, rung);
+        (session.flying, session.sent, session.waiting) = (true, now, now);
+        session.tried.push(id);
+        if session.attempts > 1 {
+            self.extras.push_back(now);
+        }
+        *self.seats.entry((session.ask.class, session.ask.title)).or_insert(0) += 1;
+        let interval = self.cold_interval(id);
+        let server = self.servers.get_mut(&id);
+        if let Some(server) = server {
+            server.flights.insert(request, now);
+            server.next_cold = after(now, interval);
+        }
+        self.book(now, request, true);
+        out.push(Action::Rung { request, rung });
+        out.push(Action::Attempt { request, server: id, timeout });
+    }
+
+    fn adopted(&mut self, now: Time, ask: Ask, id: ServerId) {
+        let request = ask.request;
+        let floor = self.s.classes.get(usize::from(ask.class)).map_or(0, |c| c.floor);
+        *self.seats.entry((ask.class, ask.title)).or_insert(0) += 1;
+        let mut session = Session::new(ask, now);
+        (session.server, session.rung, session.region) = (Some(id), floor, usize::from(floor));
+        (session.flying, session.playing, session.noted, session.attempts) = (true, true, true, 1);
+        session.ran = Some((id, now));
+        self.sessions.insert(request, session);
+        self.book(now, request, true);
+    }
+
+    fn playing(&mut self, now: Time, request: RequestId, id: ServerId, took: u64) {
+        self.setup += 0.05 * ((took as f64).min(SECOND as f64) - self.setup);
+        if let Some(session) = self.sessions.get_mut(&request) {
+            (session.playing, session.started) = (true, now);
+        }
+        let cold = self.s.cold;
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.flights.remove(&request);
+            server.good = (server.good + 1).min(CLEARING);
+            if server.good == CLEARING {
+                server.block = 0;
+            }
+            if server.broke {
+                server.broke = false;
+                server.cold_until = server.cold_until.max(after(now, cold));
+            }
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn ended(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        id: ServerId,
+        outcome: Outcome,
+        closed: bool,
+        report: &Report,
+        out: &mut Vec<Action>,
+    ) {
+        let known = self.sessions.get(&request).is_some_and(|s| s.flying && s.server == Some(id));
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.flights.remove(&request);
+            match outcome {
+                Outcome::Error | Outcome::Timeout => server.trouble(now),
+                Outcome::ConnectFailed | Outcome::Reset => {
+                    server.broke = true;
+                    server.trouble(now);
+                }
+                Outcome::Full => server.gauge.x = server.gauge.x.max(self.s.server_guard.min(1.0)),
+                _ => {}
+            }
+        }
+        if !known {
+            return;
+        }
+        self.book(now, request, false);
+        self.report(now, id, report);
+        let Some(session) = self.sessions.get_mut(&request) else {
+            return;
+        };
+        session.flying = false;
+        session.server = None;
+        let never = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+        if !never && session.ran.is_none() {
+            session.ran = Some((id, session.sent));
+        }
+        if let Some(seats) = self.seats.get_mut(&(session.ask.class, session.ask.title)) {
+            *seats = seats.saturating_sub(1);
+        }
+        if session.playing || session.closed || closed || outcome == Outcome::Ok {
+            if session.playing && outcome == Outcome::Ok {
+                self.ends += 1.0;
+            }
+            let lost = session.playing && outcome == Outcome::Reset;
+            if let Some(session) = self.sessions.remove(&request) {
+                if lost {
+                    self.lost(&session.ask);
+                }
+            }
+            self.raise(now, id, out);
+        } else {
+            self.next(now, request, false, out);
+        }
+    }
+
+    /// A lost session's viewer comes again: its other holders count it as an arrival at once.
+    fn lost(&mut self, ask: &Ask) {
+        let mut ids = self.holders(ask);
+        ids.retain(|id| self.servers[id].phase == Phase::Ready && !self.servers[id].broke);
+        for id in &ids {
+            if let Some(server) = self.servers.get_mut(id) {
+                server.arrivals += 1.0 / ids.len() as f64;
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        let Some(last) = self.ticked else { return };
+        if now <= last {
+            return;
+        }
+        let playing = self.sessions.values().filter(|s| s.playing).count() as f64;
+        self.seconds += playing * now.0.saturating_sub(last.0) as f64 / SECOND as f64;
+        self.ticked = Some(now);
+        out.push(Action::Wake { at: after(now, SECOND), token: 0 });
+        if self.sized.is_none_or(|t| now.0.saturating_sub(t.0) >= RESIZE) {
+            self.resize(now);
+        }
+        if self.s.must_ask && now.0.saturating_sub(self.listed.0) > self.s.ask_within / 2 {
+            self.listed = now;
+            out.push(Action::FetchRoster);
+        }
+        let ids: Vec<_> = self.servers.keys().copied().collect();
+        for id in ids {
+            self.raise(now, id, out);
+        }
+    }
+
+    // ---- guards ----
+
+    /// Whether a further attempt breaks nothing: one at a time, in time, within the caps, and never again for a
+    /// class set up once whose attempt may have run.
+    fn may_attempt(&mut self, now: Time, request: RequestId) -> bool {
+        let window = now.0.saturating_sub(self.s.extra_window);
+        for times in [&mut self.taken, &mut self.extras] {
+            while times.front().is_some_and(|t| t.0 < window) {
+                times.pop_front();
+            }
+        }
+        let Some(session) = self.sessions.get(&request) else {
+            return false;
+        };
+        let Some(class) = self.s.classes.get(usize::from(session.ask.class)) else {
+            return false;
+        };
+        if session.closed || session.flying || now >= session.ask.deadline {
+            return false;
+        }
+        let again = match (class.effect, session.ran) {
+            (Effect::Free, _) | (_, None) => true,
+            (Effect::SingleShot, Some(_)) => false,
+            (Effect::Guarded(_), Some((_, sent))) => now.0.saturating_sub(sent.0) < class.repeat_within,
+        };
+        let allowed = self
+            .s
+            .extra_floor
+            .map_or(f64::INFINITY, |floor| floor + self.s.extra_share * self.taken.len() as f64);
+        again
+            && session.attempts < self.s.attempts_cap.max(1)
+            && (session.attempts == 0 || (self.extras.len() + 1) as f64 <= allowed)
+    }
+
+    /// A guarded class is sent again only within the group of the attempt that may have run.
+    fn in_group(&self, session: &Session, server: &Server) -> bool {
+        let effect = self.s.classes.get(usize::from(session.ask.class)).map(|c| c.effect);
+        let first = session.ran.and_then(|(id, _)| self.servers.get(&id));
+        match (effect, session.ran.is_some()) {
+            (Some(Effect::Guarded(Group::Zone)), true) => first.is_some_and(|f| f.zone == server.zone),
+            (Some(Effect::Guarded(Group::Cell)), true) => first.is_some_and(|f| f.cell == server.cell),
+            _ => true,
+        }
+    }
+
+    fn has_seat(&self, ask: &Ask) -> bool {
+        let cap = self.s.classes.get(usize::from(ask.class)).map_or(0, |c| c.seats);
+        cap == 0 || self.seats.get(&(ask.class, ask.title)).is_none_or(|n| *n < cap)
+    }
+
+    /// Whether a tenant is beyond this front's part of its share.
+    fn over_share(&mut self, now: Time, tenant: u16) -> bool {
+        let quota = self.s.tenant_quota.get(usize::from(tenant)).copied().unwrap_or(0.0);
+        let rate = TENANT_SLACK * quota / f64::from(self.s.siblings.max(1));
+        let Some((used, at)) = self.tenants.get_mut(usize::from(tenant)) else {
+            return false;
+        };
+        let past = now.0.saturating_sub(at.0) as f64 / SECOND as f64;
+        *used = (*used - rate * past).max(0.0);
+        *at = now;
+        if rate <= 0.0 || *used + 1.0 <= (rate * TENANT_BURST).max(1.0) {
+            *used += 1.0;
+            return false;
+        }
+        true
+    }
+
+    /// This front's least time between set-ups at a cold server, its warmth taken at the least.
+    fn cold_interval(&self, id: ServerId) -> u64 {
+        let places = self.servers.get(&id).map_or(1.0, |s| s.places.min(10_000.0));
+        let pace = places / self.s.cold.max(1) as f64 * self.s.cold_share * self.s.fall_multiple * COLD_PART;
+        (f64::from(self.s.siblings.max(1)) / pace.max(1e-12)) as u64
+    }
+}
+
+impl Server {
+    /// A failure: pause, longer each time; then trials by free classes until several succeed in a row.
+    fn trouble(&mut self, now: Time) {
+        self.good = 0;
+        if now >= self.blocked {
+            self.block = (self.block * 2).clamp(FIRST_BLOCK, LONGEST_BLOCK);
+            self.blocked = after(now, self.block);
+        }
+    }
+}
+
+impl Session {
+    fn new(ask: Ask, now: Time) -> Session {
+        Session {
+            ask,
+            rung: 0,
+            region: 0,
+            server: None,
+            attempts: 0,
+            flying: false,
+            playing: false,
+            closed: false,
+            ran: None,
+            sent: now,
+            started: now,
+            noted: false,
+            waiting: now,
+            hold: now,
+            tried: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/tests/regions.rs
@@ -0,0 +1,84 @@
+//! The loss-queue model and the choice of regions.
+use crankpaddle::{benefit, best_regions, erlang_b};
+
+#[test]
+fn loss_probability_matches_known_values() {
+    for (offered, slots, known) in
+        [(1.0, 1, 0.5), (2.0, 2, 0.4), (5.0, 10, 0.018_384_6), (10.0, 10, 0.214_582), (20.0, 30, 0.008_457_5)]
+    {
+        assert!(
+            (erlang_b(offered, slots) - known).abs() < 1e-5,
+            "{offered} {slots}: {}",
+            erlang_b(offered, slots)
+        );
+    }
+}
+
+#[test]
+fn loss_probability_stands_large_and_odd_loads() {
+    assert!((erlang_b(1e9, 1000) - (1.0 - 1e-6)).abs() < 1e-8);
+    assert!(erlang_b(1e300, 5000) > 0.999);
+    assert_eq!(erlang_b(0.0, 3), 0.0);
+    assert_eq!(erlang_b(0.0, 0), 1.0);
+    assert_eq!(erlang_b(f64::NAN, 3), 0.0);
+}
+
+#[test]
+fn spill_over_chains_the_queues() {
+    // 3 erlangs at 2 slots of the upper rung, what spills over at 4 of the lower, the rest is rejected.
+    let spilled = 3.0 * erlang_b(3.0, 2);
+    let lost = spilled * erlang_b(spilled, 4);
+    let expected = (3.0 - spilled) * 1.0 + (spilled - lost) * 0.4 - 0.4 * lost;
+    assert!((benefit(3.0, &[4, 2], &[0.4, 1.0], 0.4) - expected).abs() < 1e-12);
+}
+
+fn exhaustive(offered: f64, kb: &[f64], worth: &[f64], budget: f64, places: u32) -> f64 {
+    fn go(
+        i: usize,
+        n: &mut Vec<u32>,
+        left: f64,
+        places: u32,
+        kb: &[f64],
+        value: &dyn Fn(&[u32]) -> f64,
+    ) -> f64 {
+        if i == kb.len() {
+            return value(n);
+        }
+        let mut best = f64::NEG_INFINITY;
+        for k in 0..=places.min((left / kb[i] + 1e-9) as u32) {
+            n[i] = k;
+            best = best.max(go(i + 1, n, left - f64::from(k) * kb[i], places - k, kb, value));
+        }
+        n[i] = 0;
+        best
+    }
+    let value = |n: &[u32]| benefit(offered, n, worth, worth[0]);
+    go(0, &mut vec![0; kb.len()], budget, places, kb, &value)
+}
+
+#[test]
+fn chosen_regions_come_near_exhaustive_search() {
+    let (kb, worth) = ([200.0, 400.0, 800.0], [0.3, 0.6, 1.0]);
+    for offered in [0.5, 2.0, 5.0, 9.0, 15.0, 40.0] {
+        for places in [6, 12, 30] {
+            let n = best_regions(offered, &kb, &worth, 4000.0, places);
+            let got = benefit(offered, &n, &worth, worth[0]);
+            let best = exhaustive(offered, &kb, &worth, 4000.0, places);
+            assert!(got >= best - 0.01 * best.abs(), "{offered} {places}: {n:?} {got} {best}");
+            assert!(n.iter().sum::<u32>() <= places);
+            assert!(n.iter().zip(kb).map(|(n, k)| f64::from(*n) * k).sum::<f64>() <= 4000.0 + 1e-6);
+        }
+    }
+}
+
+#[test]
+fn regions_move_down_the_ladder_as_arrivals_grow() {
+    let (kb, worth) = ([200.0, 400.0, 800.0], [0.3, 0.6, 1.0]);
+    let mean_rung = |offered| {
+        let n = best_regions(offered, &kb, &worth, 4000.0, 40);
+        let sum: u32 = n.iter().sum();
+        n.iter().enumerate().map(|(i, n)| i as f64 * f64::from(*n)).sum::<f64>() / f64::from(sum.max(1))
+    };
+    assert!(mean_rung(1.0) > mean_rung(8.0));
+    assert!(mean_rung(8.0) > mean_rung(30.0));
+}
