--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,7 +10,7 @@
 /// Part of a link or uplink that slots may fill.
 const HEADROOM: f64 = 0.9;
 /// Below this part of link and uplink a session gets the highest rung that fits.
-const LOW_MARK: f64 = 0.8;
+const LOW_MARK: f64 = 0.65;
 /// Regions are sized anew, and arrivals counted, over this time.
 const RESIZE: u64 = 10 * SECOND;
 /// A session is raised once in this time at most.
@@ -174,17 +174,29 @@
         let mut current = value(&n);
         for _ in 0..200 {
             let mut next: Option<(f64, Vec<u32>)> = None;
+            let mut look = |m: Vec<u32>| {
+                let v = if fits(&m) { value(&m) } else { f64::NEG_INFINITY };
+                if v > current + 1e-9 && next.as_ref().is_none_or(|(b, _)| v > *b) {
+                    next = Some((v, m));
+                }
+            };
             for to in 0..kb.len() {
                 for from in 0..kb.len() {
+                    // One more slot above for as few below as it takes, or one less above for all that it frees.
                     let mut m = n.clone();
                     m[to] += 1;
                     while from != to && !fits(&m) && m[from] > 0 {
                         m[from] -= 1;
                     }
-                    let v = if fits(&m) { value(&m) } else { f64::NEG_INFINITY };
-                    if v > current + 1e-9 && next.as_ref().is_none_or(|(b, _)| v > *b) {
-                        next = Some((v, m));
+                    look(m);
+                    let mut m = n.clone();
+                    m[from] = m[from].saturating_sub(1);
+                    m[to] += u32::from(from != to);
+                    while fits(&m) && m[to] < places {
+                        m[to] += 1;
                     }
+                    m[to] = m[to].saturating_sub(1);
+                    look(m);
                 }
             }
             let Some((v, m)) = next else { break };
