--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,7 +10,12 @@
 /// Part of a link or uplink that slots may fill.
 const HEADROOM: f64 = 0.9;
 /// Below this part of link and uplink a session gets the highest rung that fits.
-const LOW_MARK: f64 = 0.65;
+const LOW_MARK: f64 = 0.8;
+/// Part of the links that the expected sessions are priced to fill.
+const PRICED_FILL: f64 = 0.8;
+/// Bounds of the use by all fronts over our own, as multiples of their number.
+const SCALE_LEAST: f64 = 0.7;
+const SCALE_MOST: f64 = 1.4;
 /// Regions are sized anew, and arrivals counted, over this time.
 const RESIZE: u64 = 10 * SECOND;
 /// A session is raised once in this time at most.
@@ -66,6 +71,7 @@
     }
 }
 
+#[derive(Default)]
 struct Server {
     phase: Phase,
     zone: u8,
@@ -93,6 +99,7 @@
     next_relief: Time,
 }
 
+#[derive(Default)]
 struct Session {
     ask: Ask,
     rung: u8,
@@ -131,6 +138,11 @@
     ticked: Option<Time>,
     sized: Option<Time>,
     listed: Time,
+    /// Classes and best rungs of late requests, and what a kB a second is worth to them.
+    mix: VecDeque<(u8, u8)>,
+    price: f64,
+    asked: f64,
+    refused: f64,
 }
 
 fn after(t: Time, d: u64) -> Time {
@@ -230,6 +242,10 @@
             ticked: None,
             sized: None,
             listed: now,
+            mix: VecDeque::new(),
+            price: 0.0,
+            asked: 0.0,
+            refused: 0.0,
             s: settings,
         }
     }
@@ -288,28 +304,10 @@
             let rungs = self.s.rung_kb.len();
             let weight = if e.weight.is_finite() && e.weight > 0.0 { e.weight } else { 1.0 };
             let server = self.servers.entry(e.server).or_insert_with(|| Server {
-                phase: e.phase,
-                zone: e.zone,
-                cell: e.cell,
-                rack: 0,
-                link: 1.0,
-                places: f64::INFINITY,
-                since: Time(0),
-                gauge: Gauge::default(),
-                use_kb: 0.0,
                 region_kb: vec![0.0; rungs],
-                ours: 0,
                 slots: vec![0; rungs],
-                arrivals: 0.0,
-                rate: 0.0,
-                flights: BTreeMap::new(),
-                blocked: Time(0),
-                block: 0,
                 good: CLEARING,
-                broke: false,
-                cold_until: Time(0),
-                next_cold: Time(0),
-                next_relief: Time(0),
+                ..Server::default()
             });
             server.phase = e.phase;
             server.zone = e.zone;
@@ -485,31 +483,32 @@
         }
     }
 
+    /// What is asked of all links over what is asked of them for our own sessions: our part, turned over.
+    fn scale(&self, mean: f64) -> f64 {
+        let siblings = f64::from(self.s.siblings.max(1));
+        let own: f64 = self.servers.values().map(|s| s.use_kb).sum();
+        let all: f64 = self.up().map(|s| self.fill(s, mean) * s.link).sum();
+        let seen = if own > 0.0 { all / own } else { siblings };
+        seen.clamp(SCALE_LEAST * siblings, SCALE_MOST * siblings).max(1.0)
+    }
+
+    fn up(&self) -> impl Iterator<Item = &Server> {
+        self.servers.values().filter(|s| s.phase == Phase::Ready && !s.broke)
+    }
+
     /// Sizes every link's regions for the arrivals counted since they were last sized.
     fn resize(&mut self, now: Time) {
-        let siblings = f64::from(self.s.siblings.max(1));
         let mean = self.mean_fill();
-        let up = |s: &&Server| s.phase == Phase::Ready;
-        let n = self.servers.values().filter(up).count().max(1) as f64;
-        let own: f64 = self.servers.values().map(|s| s.use_kb).sum();
-        let all: f64 = self.servers.values().filter(up).map(|s| self.fill(s, mean) * s.link).sum();
-        let scale = if own > 0.0 { (all / own).clamp(1.0, 2.0 * siblings) } else { siblings };
-        let factor = self.mean_factor();
-        let length = self.length();
+        let (scale, factor, length) = (self.scale(mean), self.mean_factor(), self.length());
+        let n = self.up().count().max(1) as f64;
         let kb: Vec<f64> = self.s.rung_kb.iter().map(|k| k * factor).collect();
         let past = self.sized.map(|t| now.0.saturating_sub(t.0) as f64 / SECOND as f64);
         let sessions = self.sessions.values().filter(|s| s.server.is_some()).count() as f64;
-        let total: f64 = self.servers.values().filter(up).map(|s| s.arrivals).sum();
-        let uplinks: Vec<f64> = (0..self.uplinks.len())
-            .map(|rack| {
-                let links: f64 =
-                    self.servers.values().filter(|s| s.rack == rack && up(s)).map(|s| s.link).sum();
-                (self.uplink_kb[rack] / links.max(1.0)).min(1.0)
-            })
-            .collect();
+        let total: f64 = self.up().map(|s| s.arrivals).sum();
+        let shares: Vec<f64> = (0..self.uplinks.len()).map(|rack| self.uplink_share(rack)).collect();
         for server in self.servers.values_mut() {
             let offered = match past {
-                None => sessions / n * siblings,
+                None => sessions / n * scale,
                 Some(past) => {
                     let fresh = 0.5 * (server.arrivals + total / n) / past.max(1.0);
                     server.rate = if server.rate > 0.0 { 0.5 * (server.rate + fresh) } else { fresh };
@@ -517,13 +516,49 @@
                 }
             };
             server.arrivals = 0.0;
-            let budget = HEADROOM * server.link * uplinks[server.rack];
+            let budget = HEADROOM * server.link * shares[server.rack];
             let places = server.places.min(10_000.0) as u32;
             server.slots = best_regions(offered, &kb, &self.s.rung_worth, budget, places);
         }
         self.sized = Some(now);
     }
 
+    /// Part of a rack's links that its uplink can carry.
+    fn uplink_share(&self, rack: usize) -> f64 {
+        let links: f64 = self.up().filter(|s| s.rack == rack).map(|s| s.link).sum();
+        (self.uplink_kb[rack] / links.max(1.0)).min(1.0)
+    }
+
+    /// The worth of a kB a second at which the sessions expected, each at its best rung, just fill the links.
+    fn reprice(&mut self) {
+        let mean = self.mean_fill();
+        let playing = self.sessions.values().filter(|s| s.server.is_some()).count() as f64;
+        let kept = 1.0 - (self.refused / self.asked.max(1.0)).min(0.7);
+        let sessions = playing * self.scale(mean) / kept;
+        let room: f64 = self.up().map(|s| s.link * self.uplink_share(s.rack)).sum::<f64>() * PRICED_FILL;
+        let (mut low, mut high) = (0.0, self.top_price());
+        for _ in 0..30 {
+            self.price = 0.5 * (low + high);
+            let kb: f64 = self.mix.iter().map(|&(c, top)| self.kb(c, self.priced(c, top))).sum();
+            let over = kb / self.mix.len().max(1) as f64 * sessions > room;
+            (low, high) = if over { (self.price, high) } else { (low, self.price) };
+        }
+        self.price = high;
+    }
+
+    fn top_price(&self) -> f64 {
+        let worth = self.s.classes.iter().map(|c| c.worth / c.rate_factor.max(1e-6)).fold(0.0, f64::max);
+        worth / self.s.rung_kb.first().copied().unwrap_or(1.0).max(1e-6)
+    }
+
+    /// The rung that earns a class most at the present price.
+    fn priced(&self, class: u8, top: u8) -> u8 {
+        let Some(c) = self.s.classes.get(usize::from(class)) else { return 0 };
+        let earns = |r: u8| c.worth * self.s.rung_worth[usize::from(r)] - self.price * self.kb(class, r);
+        let last = top.min(c.top).min(self.s.rung_kb.len() as u8 - 1);
+        (c.floor..=last).fold(c.floor, |best, r| if earns(r) > earns(best) { r } else { best })
+    }
+
     // ---- admission ----
 
     fn holders(&self, ask: &Ask) -> Vec<ServerId> {
@@ -556,6 +591,7 @@
                 return None;
             }
         }
+        let priced = self.priced(ask.class, top);
         for region in (0..self.s.rung_kb.len()).rev() {
             let rung = top.min(region as u8);
             if rung < class.floor {
@@ -566,7 +602,7 @@
             let fits = |mark: f64| {
                 link + more / server.link <= mark && uplink + more / self.uplink_kb[server.rack] <= mark
             };
-            if fits(LOW_MARK) {
+            if fits(LOW_MARK) && rung <= priced {
                 return Some((usize::from(rung), rung));
             }
             if !fits(HEADROOM) {
@@ -764,8 +800,11 @@
     // ---- attempts, time-outs and refusals ----
 
     fn ask(&mut self, now: Time, ask: Ask, out: &mut Vec<Action>) {
+        self.seen(&ask);
+        self.asked += 1.0;
         if self.sized.is_none() {
             self.resize(now);
+            self.reprice();
         }
         self.taken.push_back(now);
         let holders = self.holders(&ask);
@@ -801,6 +840,7 @@
                 Some(_) => session.ran.is_none(),
             };
             self.sessions.remove(&request);
+            self.refused += 1.0;
             out.push(match rejected {
                 true => Action::Reject { request, stay_away: self.s.stay_away_cap },
                 false => Action::Fail(request),
@@ -830,7 +870,15 @@
         out.push(Action::Attempt { request, server: id, timeout });
     }
 
+    fn seen(&mut self, ask: &Ask) {
+        self.mix.push_back((ask.class, ask.top));
+        if self.mix.len() > 100 {
+            self.mix.pop_front();
+        }
+    }
+
     fn adopted(&mut self, now: Time, ask: Ask, id: ServerId) {
+        self.seen(&ask);
         let request = ask.request;
         let floor = self.s.classes.get(usize::from(ask.class)).map_or(0, |c| c.floor);
         *self.seats.entry((ask.class, ask.title)).or_insert(0) += 1;
@@ -945,6 +993,9 @@
             self.listed = now;
             out.push(Action::FetchRoster);
         }
+        self.asked *= 0.95;
+        self.refused *= 0.95;
+        self.reprice();
         let ids: Vec<_> = self.servers.keys().copied().collect();
         for id in ids {
             self.raise(now, id, out);
@@ -1039,22 +1090,6 @@
 
 impl Session {
     fn new(ask: Ask, now: Time) -> Session {
-        Session {
-            ask,
-            rung: 0,
-            region: 0,
-            server: None,
-            attempts: 0,
-            flying: false,
-            playing: false,
-            closed: false,
-            ran: None,
-            sent: now,
-            started: now,
-            noted: false,
-            waiting: now,
-            hold: now,
-            tried: Vec::new(),
-        }
+        Session { ask, waiting: now, hold: now, started: now, sent: now, ..Session::default() }
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -7,7 +7,7 @@
 pub struct ServerId(pub u32);
 
 /// One request for a session; a viewer who comes again has a new one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
 
 /// A point on a clock that only increases, in nanoseconds.
@@ -155,13 +155,14 @@
 }
 
 /// State of a server in a list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Phase {
     /// Runs.
     Ready,
     /// Ends its work; nothing new may go there.
     Draining,
     /// Is no more.
+    #[default]
     Gone,
 }
 
@@ -198,7 +199,7 @@
 }
 
 /// A viewer's request for a session.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Ask {
     /// The request.
     pub request: RequestId,
