--- a/src/choice.rs
+++ b/src/choice.rs
@@ -94,6 +94,7 @@
     block: u64,
     good: u32,
     broke: bool,
+    short: Option<(f64, Time)>,
     cold_until: Time,
     next_cold: Time,
     next_relief: Time,
@@ -141,8 +142,6 @@
     /// Classes and best rungs of late requests, and what a kB a second is worth to them.
     mix: VecDeque<(u8, u8)>,
     price: f64,
-    asked: f64,
-    refused: f64,
 }
 
 fn after(t: Time, d: u64) -> Time {
@@ -244,8 +243,6 @@
             listed: now,
             mix: VecDeque::new(),
             price: 0.0,
-            asked: 0.0,
-            refused: 0.0,
             s: settings,
         }
     }
@@ -438,29 +435,35 @@
         self.relieve(now, id, out);
     }
 
-    /// A short delivery is laid to the link, to the uplink, or else to the server itself.
+    /// A short delivery is laid to the uplink if another server of the rack is as short, to the server itself if
+    /// hardly anything comes and nothing is asked, and else to the link, of which notes come later and seldom.
     fn delivered(&mut self, now: Time, id: ServerId, share: f64) {
         let mean = self.mean_fill();
-        let Some(server) = self.servers.get(&id) else {
-            return;
-        };
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        server.short = (share < 0.98).then_some((share, now));
         if !share.is_finite() || share >= 0.98 {
             return;
         }
-        let (link, rack) = (self.fill(server, mean), server.rack);
-        if link * share > 0.93 {
+        let (link, rack) = (server.gauge.x, server.rack);
+        if share < 0.3 && link < 1.5 {
+            // Danger: a server that stands still takes set-ups and delivers nothing.
+            server.trouble(now);
+        } else if link * share > 0.93 {
             return;
         }
-        if share < 0.3 {
-            // Danger: a server that stands still takes set-ups and delivers nothing.
-            if let Some(server) = self.servers.get_mut(&id) {
-                server.trouble(now);
+        let alike = |s: &Server| {
+            s.short.is_some_and(|(v, t)| (v - share).abs() < 0.1 && now.0.saturating_sub(t.0) < 2 * SECOND)
+        };
+        let spread = self.servers.iter().filter(|(i, s)| **i != id && s.rack == rack && alike(s)).count();
+        if spread == 0 {
+            if let Some(server) = self.servers.get_mut(&id).filter(|_| share >= 0.3) {
+                server.gauge.x = server.gauge.x.max(1.0 / share);
             }
         } else if self.uplinks[rack].heard.is_none() {
             // Without reports of the uplink, what it gives is learnt from what it fails to deliver.
             let asked = self.uplink_fill(rack, mean) * self.uplink_kb[rack];
-            self.uplink_kb[rack] += 0.5 * (asked * share - self.uplink_kb[rack]);
-            self.uplink_kb[rack] = self.uplink_kb[rack].max(1.0);
+            let gives = (asked * share).max(0.4 * self.s.uplink_kb).max(1.0);
+            self.uplink_kb[rack] += 0.5 * (gives - self.uplink_kb[rack]);
         }
     }
 
@@ -533,8 +536,7 @@
     fn reprice(&mut self) {
         let mean = self.mean_fill();
         let playing = self.sessions.values().filter(|s| s.server.is_some()).count() as f64;
-        let kept = 1.0 - (self.refused / self.asked.max(1.0)).min(0.7);
-        let sessions = playing * self.scale(mean) / kept;
+        let sessions = playing * self.scale(mean);
         let room: f64 = self.up().map(|s| s.link * self.uplink_share(s.rack)).sum::<f64>() * PRICED_FILL;
         let (mut low, mut high) = (0.0, self.top_price());
         for _ in 0..30 {
@@ -801,7 +803,6 @@
 
     fn ask(&mut self, now: Time, ask: Ask, out: &mut Vec<Action>) {
         self.seen(&ask);
-        self.asked += 1.0;
         if self.sized.is_none() {
             self.resize(now);
             self.reprice();
@@ -840,7 +841,6 @@
                 Some(_) => session.ran.is_none(),
             };
             self.sessions.remove(&request);
-            self.refused += 1.0;
             out.push(match rejected {
                 true => Action::Reject { request, stay_away: self.s.stay_away_cap },
                 false => Action::Fail(request),
@@ -993,8 +993,6 @@
             self.listed = now;
             out.push(Action::FetchRoster);
         }
-        self.asked *= 0.95;
-        self.refused *= 0.95;
         self.reprice();
         let ids: Vec<_> = self.servers.keys().copied().collect();
         for id in ids {
