--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,6 +16,10 @@
 /// Bounds of the use by all fronts over our own, as multiples of their number.
 const SCALE_LEAST: f64 = 0.7;
 const SCALE_MOST: f64 = 1.4;
+/// Seconds after which a measurement begins to give way to the mean.
+const STALE: f64 = 6.0;
+/// Least part of the mean uplink that short deliveries may make us believe in.
+const UPLINK_LEAST: f64 = 0.4;
 /// Regions are sized anew, and arrivals counted, over this time.
 const RESIZE: u64 = 10 * SECOND;
 /// A session is raised once in this time at most.
@@ -94,7 +98,9 @@
     block: u64,
     good: u32,
     broke: bool,
-    short: Option<(f64, Time)>,
+    /// Share delivered while it is short, since when, and when last told.
+    short: Option<(f64, Time, Time)>,
+    failed: Time,
     cold_until: Time,
     next_cold: Time,
     next_relief: Time,
@@ -353,12 +359,15 @@
         }
     }
 
+    /// Fill of a server's link: what was heard gives way to the mean as it ages, so that none is kept out by
+    /// old news.
     fn fill(&self, server: &Server, mean: f64) -> f64 {
-        if server.gauge.heard.is_some() {
-            server.gauge.x
-        } else {
-            mean.max(server.gauge.x)
-        }
+        let now = self.ticked.unwrap_or_default();
+        let own = server.use_kb / server.link;
+        let Some(heard) = server.gauge.heard else { return mean.max(own) };
+        let old = now.0.saturating_sub(heard.0) as f64 / SECOND as f64 - STALE;
+        let fresh = (-old.max(0.0) / STALE).exp();
+        (mean + fresh * (server.gauge.x - mean)).max(own)
     }
 
     fn uplink_fill(&self, rack: usize, mean: f64) -> f64 {
@@ -435,35 +444,36 @@
         self.relieve(now, id, out);
     }
 
-    /// A short delivery is laid to the uplink if another server of the rack is as short, to the server itself if
-    /// hardly anything comes and nothing is asked, and else to the link, of which notes come later and seldom.
+    /// What a short delivery is laid to, once a note of the link has come since it began: the link if that is
+    /// asked too much, the uplink if another server of the rack falls short alike, else the server itself.
     fn delivered(&mut self, now: Time, id: ServerId, share: f64) {
         let mean = self.mean_fill();
         let Some(server) = self.servers.get_mut(&id) else { return };
-        server.short = (share < 0.98).then_some((share, now));
+        let since = server.short.filter(|s| now.0.saturating_sub(s.2 .0) < 3 * SECOND).map_or(now, |s| s.1);
+        server.short = (share < 0.98).then_some((share, since, now));
         if !share.is_finite() || share >= 0.98 {
             return;
         }
-        let (link, rack) = (server.gauge.x, server.rack);
-        if share < 0.3 && link < 1.5 {
-            // Danger: a server that stands still takes set-ups and delivers nothing.
-            server.trouble(now);
-        } else if link * share > 0.93 {
-            return;
-        }
-        let alike = |s: &Server| {
-            s.short.is_some_and(|(v, t)| (v - share).abs() < 0.1 && now.0.saturating_sub(t.0) < 2 * SECOND)
+        let rack = server.rack;
+        let unlike_link = |s: &Server| {
+            s.short.is_some_and(|(v, since, at)| {
+                let told = s.gauge.heard.is_some_and(|t| t > since);
+                let now = now.0.saturating_sub(at.0) < 2 * SECOND;
+                told && now && (v - share).abs() < 0.1 && s.gauge.x * v < 0.93
+            })
         };
-        let spread = self.servers.iter().filter(|(i, s)| **i != id && s.rack == rack && alike(s)).count();
-        if spread == 0 {
-            if let Some(server) = self.servers.get_mut(&id).filter(|_| share >= 0.3) {
-                server.gauge.x = server.gauge.x.max(1.0 / share);
+        if !unlike_link(server) {
+            server.gauge.x = server.gauge.x.max(1.0 / share.max(0.3));
+        } else if self.servers.iter().any(|(i, s)| *i != id && s.rack == rack && unlike_link(s)) {
+            if self.uplinks[rack].heard.is_none() {
+                // Without reports of the uplink, what it gives is learnt from what it fails to deliver.
+                let asked = self.uplink_fill(rack, mean) * self.uplink_kb[rack];
+                let gives = (asked * share).max(UPLINK_LEAST * self.s.uplink_kb).max(1.0);
+                self.uplink_kb[rack] += 0.5 * (gives - self.uplink_kb[rack]);
             }
-        } else if self.uplinks[rack].heard.is_none() {
-            // Without reports of the uplink, what it gives is learnt from what it fails to deliver.
-            let asked = self.uplink_fill(rack, mean) * self.uplink_kb[rack];
-            let gives = (asked * share).max(0.4 * self.s.uplink_kb).max(1.0);
-            self.uplink_kb[rack] += 0.5 * (gives - self.uplink_kb[rack]);
+        } else if let Some(server) = self.servers.get_mut(&id).filter(|_| share < 0.75) {
+            // Danger: a server that hangs, or delivers too little for a cause of its own, still takes set-ups.
+            server.trouble(now);
         }
     }
 
@@ -899,9 +909,6 @@
         if let Some(server) = self.servers.get_mut(&id) {
             server.flights.remove(&request);
             server.good = (server.good + 1).min(CLEARING);
-            if server.good == CLEARING {
-                server.block = 0;
-            }
             if server.broke {
                 server.broke = false;
                 server.cold_until = server.cold_until.max(after(now, cold));
@@ -993,6 +1000,13 @@
             self.listed = now;
             out.push(Action::FetchRoster);
         }
+        for server in self.servers.values_mut() {
+            server.short = server.short.filter(|s| now.0.saturating_sub(s.2 .0) < 3 * SECOND);
+        }
+        let calm = |rack: usize| !self.servers.values().any(|s| s.rack == rack && s.short.is_some());
+        for rack in (0..self.uplinks.len()).filter(|r| calm(*r)).collect::<Vec<_>>() {
+            self.uplink_kb[rack] += 0.02 * (self.s.uplink_kb - self.uplink_kb[rack]).max(0.0);
+        }
         self.reprice();
         let ids: Vec<_> = self.servers.keys().copied().collect();
         for id in ids {
@@ -1080,7 +1094,9 @@
     fn trouble(&mut self, now: Time) {
         self.good = 0;
         if now >= self.blocked {
-            self.block = (self.block * 2).clamp(FIRST_BLOCK, LONGEST_BLOCK);
+            let calm = now.0.saturating_sub(self.failed.0) > 2 * LONGEST_BLOCK;
+            self.failed = now;
+            self.block = (if calm { 0 } else { self.block * 2 }).clamp(FIRST_BLOCK, LONGEST_BLOCK);
             self.blocked = after(now, self.block);
         }
     }
