--- a/src/choice.rs
+++ b/src/choice.rs
@@ -57,7 +57,7 @@
     fn change(&mut self, now: Time, part: f64) {
         self.x = (self.x + part).max(0.0);
         self.own.push_back((now, part));
-        while self.own.front().is_some_and(|&(t, _)| now.0.saturating_sub(t.0) > 8 * SECOND) {
+        while self.own.front().is_some_and(|&(t, _)| since(now, t) > 8 * SECOND) {
             self.own.pop_front();
         }
     }
@@ -154,6 +154,14 @@
     Time(t.0.saturating_add(d))
 }
 
+fn since(now: Time, t: Time) -> u64 {
+    now.0.saturating_sub(t.0)
+}
+
+fn seconds(now: Time, t: Time) -> f64 {
+    since(now, t) as f64 / SECOND as f64
+}
+
 // ---- regions ----
 
 /// Probability that a loss queue with `slots` places and `offered` erlangs turns an arrival away (Erlang B).
@@ -230,6 +238,10 @@
     /// A front that has heard nothing yet.
     pub fn new(settings: Settings, seed: u64, now: Time) -> Front {
         let racks = settings.racks.max(1) as usize;
+        let mut settings = settings;
+        let rungs = settings.rung_kb.len().min(settings.rung_worth.len()).min(256);
+        settings.rung_kb.truncate(rungs);
+        settings.rung_worth.truncate(rungs);
         Front {
             rng: oorandom::Rand32::new(seed),
             servers: BTreeMap::new(),
@@ -269,7 +281,7 @@
             Event::Playing { request, server, took, .. } => self.playing(now, request, server, took),
             Event::Note { request, server, note } => self.note(now, request, server, note, out),
             Event::Ended { request, server, outcome, closed, report, .. } => {
-                self.ended(now, request, server, outcome, closed, &report, out)
+                self.ended(now, (request, server), (outcome, closed, report), out)
             }
             Event::Left(request) => {
                 if let Some(session) = self.sessions.get_mut(&request) {
@@ -289,7 +301,7 @@
 
     fn roster(&mut self, now: Time, kind: RosterKind, entries: Vec<Listing>, out: &mut Vec<Action>) {
         if kind == RosterKind::Failed {
-            if self.s.must_ask && now.0.saturating_sub(self.listed.0) > SECOND {
+            if self.s.must_ask && since(now, self.listed) > SECOND {
                 self.listed = now;
                 out.push(Action::Subscribe);
             }
@@ -333,9 +345,7 @@
     }
 
     fn report(&mut self, now: Time, id: ServerId, report: &Report) {
-        let Some(server) = self.servers.get_mut(&id) else {
-            return;
-        };
+        let Some(server) = self.servers.get_mut(&id) else { return };
         for &(field, value) in report {
             match field {
                 LoadField::LinkAsked => server.gauge.measure(now, value, SECOND / 3),
@@ -365,7 +375,7 @@
         let now = self.ticked.unwrap_or_default();
         let own = server.use_kb / server.link;
         let Some(heard) = server.gauge.heard else { return mean.max(own) };
-        let old = now.0.saturating_sub(heard.0) as f64 / SECOND as f64 - STALE;
+        let old = seconds(now, heard) - STALE;
         let fresh = (-old.max(0.0) / STALE).exp();
         (mean + fresh * (server.gauge.x - mean)).max(own)
     }
@@ -378,31 +388,37 @@
         up.map(|s| self.fill(s, mean).min(1.2) * s.link).sum::<f64>() / self.uplink_kb[rack]
     }
 
+    fn class(&self, class: u8) -> Option<&Class> {
+        self.s.classes.get(usize::from(class))
+    }
+
+    fn last_rung(&self) -> u8 {
+        self.s.rung_kb.len().saturating_sub(1) as u8
+    }
+
     fn kb(&self, class: u8, rung: u8) -> f64 {
-        let factor = self.s.classes.get(usize::from(class)).map_or(1.0, |c| c.rate_factor);
+        let factor = self.class(class).map_or(1.0, |c| c.rate_factor);
         self.s.rung_kb.get(usize::from(rung)).copied().unwrap_or(0.0) * factor
     }
 
     /// Books a session's rate at its server; viewers of a live title share a stream.
     fn book(&mut self, now: Time, request: RequestId, add: bool) {
-        let Some(session) = self.sessions.get(&request) else {
-            return;
-        };
+        let Some(session) = self.sessions.get(&request) else { return };
         let Some(id) = session.server else { return };
         let (class, rung, region) = (session.ask.class, session.rung, session.region);
         let mut kb = self.kb(class, rung);
-        if self.s.classes.get(usize::from(class)).is_some_and(|c| c.live) {
+        if self.class(class).is_some_and(|c| c.live) {
             let count = self.shared.entry((id, session.ask.title, class, rung)).or_insert(0);
             let others = if add { *count } else { count.saturating_sub(1) };
             kb *= if others > 0 { self.s.join } else { 1.0 };
             *count = if add { *count + 1 } else { others };
         }
-        let Some(server) = self.servers.get_mut(&id) else {
-            return;
-        };
+        let Some(server) = self.servers.get_mut(&id) else { return };
         let signed = if add { kb } else { -kb };
         server.use_kb = (server.use_kb + signed).max(0.0);
-        server.region_kb[region] = (server.region_kb[region] + signed).max(0.0);
+        if let Some(kb) = server.region_kb.get_mut(region) {
+            *kb = (*kb + signed).max(0.0);
+        }
         server.ours = if add { server.ours + 1 } else { server.ours.saturating_sub(1) };
         server.gauge.change(now, signed / server.link);
         self.uplinks[server.rack].change(now, signed / self.uplink_kb[server.rack]);
@@ -411,16 +427,14 @@
     fn note(&mut self, now: Time, request: RequestId, id: ServerId, note: Note, out: &mut Vec<Action>) {
         let mut age = self.s.note_delay;
         if let (Some(session), Note::Link(_)) = (self.sessions.get_mut(&request), note) {
-            if !session.noted && now.0.saturating_sub(session.started.0) < SECOND / 3 {
+            if !session.noted && since(now, session.started) < SECOND / 3 {
                 age = 0;
             }
             session.noted = true;
         }
         match note {
             Note::Rung(rung) => {
-                let Some(session) = self.sessions.get(&request) else {
-                    return;
-                };
+                let Some(session) = self.sessions.get(&request) else { return };
                 if session.rung != rung && usize::from(rung) < self.s.rung_kb.len() {
                     self.book(now, request, false);
                     if let Some(session) = self.sessions.get_mut(&request) {
@@ -449,16 +463,16 @@
     fn delivered(&mut self, now: Time, id: ServerId, share: f64) {
         let mean = self.mean_fill();
         let Some(server) = self.servers.get_mut(&id) else { return };
-        let since = server.short.filter(|s| now.0.saturating_sub(s.2 .0) < 3 * SECOND).map_or(now, |s| s.1);
-        server.short = (share < 0.98).then_some((share, since, now));
+        let began = server.short.filter(|s| since(now, s.2) < 3 * SECOND).map_or(now, |s| s.1);
+        server.short = (share < 0.98).then_some((share, began, now));
         if !share.is_finite() || share >= 0.98 {
             return;
         }
         let rack = server.rack;
         let unlike_link = |s: &Server| {
-            s.short.is_some_and(|(v, since, at)| {
-                let told = s.gauge.heard.is_some_and(|t| t > since);
-                let now = now.0.saturating_sub(at.0) < 2 * SECOND;
+            s.short.is_some_and(|(v, began, at)| {
+                let told = s.gauge.heard.is_some_and(|t| t > began);
+                let now = since(now, at) < 2 * SECOND;
                 told && now && (v - share).abs() < 0.1 && s.gauge.x * v < 0.93
             })
         };
@@ -487,7 +501,7 @@
     fn mean_factor(&self) -> f64 {
         let playing = self.sessions.values().filter(|s| s.server.is_some());
         let (n, sum) = playing.fold((0.0, 0.0), |(n, sum), s| {
-            (n + 1.0, sum + self.s.classes.get(usize::from(s.ask.class)).map_or(1.0, |c| c.rate_factor))
+            (n + 1.0, sum + self.class(s.ask.class).map_or(1.0, |c| c.rate_factor))
         });
         if n > 0.0 {
             sum / n
@@ -515,7 +529,7 @@
         let (scale, factor, length) = (self.scale(mean), self.mean_factor(), self.length());
         let n = self.up().count().max(1) as f64;
         let kb: Vec<f64> = self.s.rung_kb.iter().map(|k| k * factor).collect();
-        let past = self.sized.map(|t| now.0.saturating_sub(t.0) as f64 / SECOND as f64);
+        let past = self.sized.map(|t| seconds(now, t));
         let sessions = self.sessions.values().filter(|s| s.server.is_some()).count() as f64;
         let total: f64 = self.up().map(|s| s.arrivals).sum();
         let shares: Vec<f64> = (0..self.uplinks.len()).map(|rack| self.uplink_share(rack)).collect();
@@ -565,9 +579,9 @@
 
     /// The rung that earns a class most at the present price.
     fn priced(&self, class: u8, top: u8) -> u8 {
-        let Some(c) = self.s.classes.get(usize::from(class)) else { return 0 };
+        let Some(c) = self.class(class) else { return 0 };
         let earns = |r: u8| c.worth * self.s.rung_worth[usize::from(r)] - self.price * self.kb(class, r);
-        let last = top.min(c.top).min(self.s.rung_kb.len() as u8 - 1);
+        let last = top.min(c.top).min(self.last_rung());
         (c.floor..=last).fold(c.floor, |best, r| if earns(r) > earns(best) { r } else { best })
     }
 
@@ -581,17 +595,11 @@
     }
 
     /// The region and rung that a server offers: `held` is what the session has there already.
-    fn offer(
-        &self,
-        ask: &Ask,
-        id: ServerId,
-        mean: f64,
-        factor: f64,
-        held: Option<(usize, u8)>,
-    ) -> Option<(usize, u8)> {
+    fn offer(&self, ask: &Ask, id: ServerId, held: Option<(usize, u8)>) -> Option<(usize, u8)> {
         let server = self.servers.get(&id)?;
-        let class = self.s.classes.get(usize::from(ask.class))?;
-        let top = ask.top.min(class.top).min(self.s.rung_kb.len() as u8 - 1);
+        let (mean, factor) = (self.mean_fill(), self.mean_factor());
+        let class = self.class(ask.class)?;
+        let top = ask.top.min(class.top).min(self.last_rung());
         let fair = if held.is_some() { f64::from(self.s.siblings.max(1)) } else { 1.0 };
         let held_kb = held.map_or(0.0, |(_, rung)| self.kb(ask.class, rung));
         let (link, uplink) = (self.fill(server, mean), self.uplink_fill(server.rack, mean));
@@ -642,7 +650,7 @@
     /// Whether a server may be sent a set-up now.
     fn usable(&self, now: Time, server: &Server, free: bool) -> bool {
         let slow = (4.0 * self.setup).max(0.3 * SECOND as f64) as u64;
-        let stuck = server.flights.values().any(|t| now.0.saturating_sub(t.0) > slow);
+        let stuck = server.flights.values().any(|t| since(now, *t) > slow);
         let trial = server.good < CLEARING;
         server.phase == Phase::Ready
             && now >= server.blocked
@@ -659,7 +667,7 @@
     fn choose(&mut self, now: Time, request: RequestId, over_share: bool) -> Option<(ServerId, usize, u8)> {
         let session = self.sessions.get(&request)?;
         let ask = session.ask.clone();
-        let class = self.s.classes.get(usize::from(ask.class))?;
+        let class = self.class(ask.class)?;
         let free = class.effect == Effect::Free;
         let floor = class.floor;
         let mut ids = self.holders(&ask);
@@ -671,27 +679,20 @@
             let j = self.rng.rand_range(0..i as u32 + 1) as usize;
             ids.swap(i, j);
         }
-        let (mean, factor) = (self.mean_fill(), self.mean_factor());
+        let mean = self.mean_fill();
         for pair in ids.chunks(2) {
-            let mut best: Option<(ServerId, usize, u8, f64)> = None;
-            for id in pair {
+            let offers = pair.iter().filter_map(|id| {
                 let server = &self.servers[id];
-                let mut fill = self.fill(server, mean).max(self.uplink_fill(server.rack, mean));
-                fill += if server.zone != self.s.zone { self.s.cross_zone_price } else { 0.0 };
-                let Some((mut region, mut rung)) = self.offer(&ask, *id, mean, factor, None) else {
-                    continue;
-                };
-                if over_share {
-                    if fill > LOW_MARK {
-                        continue;
-                    }
-                    (region, rung) = (usize::from(floor), floor);
-                }
-                let better = best.is_none_or(|(_, _, r, f)| rung > r || (rung == r && fill < f));
-                if better {
-                    best = Some((*id, region, rung, fill));
+                let fill = self.fill(server, mean).max(self.uplink_fill(server.rack, mean));
+                let away = if server.zone != self.s.zone { self.s.cross_zone_price } else { 0.0 };
+                let (region, rung) = self.offer(&ask, *id, None)?;
+                match over_share {
+                    // Beyond its tenant's share a session is worth little: the lowest rung, and only where room is.
+                    true => (fill <= LOW_MARK).then_some((*id, usize::from(floor), floor, fill + away)),
+                    false => Some((*id, region, rung, fill + away)),
                 }
-            }
+            });
+            let best = offers.min_by(|a, b| b.2.cmp(&a.2).then(a.3.total_cmp(&b.3)));
             if let Some((id, region, rung, _)) = best {
                 return Some((id, region, rung));
             }
@@ -703,13 +704,10 @@
 
     /// Raises sessions at a server, the nearest lower region first and the longest waiting in it.
     fn raise(&mut self, now: Time, id: ServerId, out: &mut Vec<Action>) {
-        let Some(server) = self.servers.get(&id) else {
-            return;
-        };
+        let Some(server) = self.servers.get(&id) else { return };
         if server.phase == Phase::Gone || now < server.blocked {
             return;
         }
-        let mean = self.mean_fill();
         let mut waiting: Vec<_> = self
             .sessions
             .iter()
@@ -717,44 +715,31 @@
             .map(|(r, s)| (std::cmp::Reverse(s.region), s.waiting, *r))
             .collect();
         waiting.sort();
-        let factor = self.mean_factor();
         for (_, _, request) in waiting {
-            let Some(session) = self.sessions.get(&request) else {
-                continue;
-            };
+            let Some(session) = self.sessions.get(&request) else { continue };
             let held = (session.region, session.rung);
-            let Some((region, rung)) = self.offer(&session.ask, id, mean, factor, Some(held)) else {
-                continue;
-            };
+            let Some((region, rung)) = self.offer(&session.ask, id, Some(held)) else { continue };
             if rung <= held.1 {
                 continue;
             }
             let left = match session.ask.hint {
-                Some(hint) => (hint as f64 - now.0.saturating_sub(session.started.0) as f64) / SECOND as f64,
+                Some(hint) => (hint as f64 - since(now, session.started) as f64) / SECOND as f64,
                 None => self.length(),
             };
             let gain = self.s.rung_worth[usize::from(rung)] - self.s.rung_worth[usize::from(held.1)];
             if gain * left <= self.s.switch_seconds {
                 continue;
             }
-            self.set_rung(now, request, region, rung, RAISE_PAUSE, out);
+            self.set_rung(now, request, (region, rung), RAISE_PAUSE, out);
         }
     }
 
-    fn set_rung(
-        &mut self,
-        now: Time,
-        request: RequestId,
-        region: usize,
-        rung: u8,
-        hold: u64,
-        out: &mut Vec<Action>,
-    ) {
+    fn set_rung(&mut self, now: Time, request: RequestId, at: (usize, u8), hold: u64, out: &mut Vec<Action>) {
         self.book(now, request, false);
         if let Some(session) = self.sessions.get_mut(&request) {
-            (session.region, session.rung) = (region, rung);
+            (session.region, session.rung) = at;
             (session.waiting, session.hold) = (now, after(now, hold));
-            out.push(Action::Rung { request, rung });
+            out.push(Action::Rung { request, rung: at.1 });
         }
         self.book(now, request, true);
     }
@@ -762,47 +747,36 @@
     /// Departure: where a link or uplink is measured to be overrun, each front lowers its part of the excess.
     fn relieve(&mut self, now: Time, id: ServerId, out: &mut Vec<Action>) {
         let mean = self.mean_fill();
-        let Some(server) = self.servers.get(&id) else {
-            return;
-        };
+        let Some(server) = self.servers.get(&id) else { return };
         let (link, uplink) = (self.fill(server, mean), self.uplink_fill(server.rack, mean));
         let x = link.max(uplink);
         if x <= OVERRUN || now < server.next_relief {
             return;
         }
         let mut need = server.use_kb * (1.0 - RELIEF / x);
-        let mut rungs: BTreeMap<RequestId, u8> = self
-            .sessions
-            .iter()
-            .filter(|(_, s)| s.server == Some(id) && s.playing && !s.closed)
-            .map(|(r, s)| (*r, s.rung))
-            .collect();
-        let was = rungs.clone();
+        let here = |s: &Session| s.server == Some(id) && s.playing && !s.closed;
+        let mut rungs: BTreeMap<_, _> =
+            self.sessions.iter().filter(|(_, s)| here(s)).map(|(r, s)| (*r, s.rung)).collect();
+        // A rung down where it costs the least worth for what it saves, until enough is saved.
+        let step = |request: &RequestId, rung: u8| {
+            let class = self.sessions.get(request).and_then(|s| self.class(s.ask.class))?;
+            let lower = usize::from(rung.checked_sub(1).filter(|r| *r >= class.floor)?);
+            let saved = (self.s.rung_kb[lower + 1] - self.s.rung_kb[lower]) * class.rate_factor;
+            let lost = (self.s.rung_worth[lower + 1] - self.s.rung_worth[lower]) * class.worth;
+            Some((lost / saved.max(1e-9), saved, *request))
+        };
+        let mut lowered = Vec::new();
         while need > 0.0 {
-            let mut best: Option<(f64, f64, RequestId)> = None;
-            for (request, rung) in &rungs {
-                let ask = &self.sessions[request].ask;
-                let Some(class) = self.s.classes.get(usize::from(ask.class)) else {
-                    continue;
-                };
-                if *rung <= class.floor {
-                    continue;
-                }
-                let worth = |r: u8| self.s.rung_worth[usize::from(r)] * class.worth;
-                let saved = self.kb(ask.class, *rung) - self.kb(ask.class, *rung - 1);
-                let price = (worth(*rung) - worth(*rung - 1)) / saved.max(1e-9);
-                if best.is_none_or(|(p, _, _)| price < p) {
-                    best = Some((price, saved, *request));
-                }
-            }
-            let Some((_, saved, request)) = best else { break };
-            need -= saved;
+            let steps = rungs.iter().filter_map(|(request, rung)| step(request, *rung));
+            let Some((_, saved, request)) = steps.min_by(|a, b| a.0.total_cmp(&b.0)) else { break };
+            need -= saved.max(1.0);
             rungs.entry(request).and_modify(|r| *r -= 1);
+            lowered.push(request);
         }
-        for (request, rung) in rungs {
-            if was[&request] != rung {
-                self.set_rung(now, request, usize::from(rung), rung, LOWER_PAUSE, out);
-            }
+        lowered.sort();
+        lowered.dedup();
+        for request in lowered {
+            self.set_rung(now, request, (usize::from(rungs[&request]), rungs[&request]), LOWER_PAUSE, out);
         }
         if let Some(server) = self.servers.get_mut(&id) {
             server.next_relief = after(now, self.s.note_delay + SECOND);
@@ -818,13 +792,7 @@
             self.reprice();
         }
         self.taken.push_back(now);
-        let holders = self.holders(&ask);
-        let able: Vec<_> = holders.into_iter().filter(|id| self.servers[id].phase == Phase::Ready).collect();
-        for id in &able {
-            if let Some(server) = self.servers.get_mut(id) {
-                server.arrivals += 1.0 / able.len() as f64;
-            }
-        }
+        self.arrive(&ask);
         let over = self.over_share(now, ask.tenant);
         let request = ask.request;
         if self.sessions.contains_key(&request) {
@@ -836,17 +804,14 @@
 
     /// Sends the next attempt, or gives the final answer at once.
     fn next(&mut self, now: Time, request: RequestId, over_share: bool, out: &mut Vec<Action>) {
-        let Some(session) = self.sessions.get(&request) else {
-            return;
-        };
+        let Some(session) = self.sessions.get(&request) else { return };
         let seat = self.has_seat(&session.ask);
         let may = seat && self.may_attempt(now, request);
         let chosen = if may { self.choose(now, request, over_share) } else { None };
-        let Some(session) = self.sessions.get_mut(&request) else {
-            return;
-        };
+        let Some(session) = self.sessions.get_mut(&request) else { return };
         let Some((id, region, rung)) = chosen else {
-            let rejected = match self.s.classes.get(usize::from(session.ask.class)).map(|c| c.effect) {
+            let class = self.s.classes.get(usize::from(session.ask.class));
+            let rejected = match class.map(|c| c.effect) {
                 None | Some(Effect::Free) | Some(Effect::Guarded(Group::All)) => true,
                 Some(_) => session.ran.is_none(),
             };
@@ -890,7 +855,7 @@
     fn adopted(&mut self, now: Time, ask: Ask, id: ServerId) {
         self.seen(&ask);
         let request = ask.request;
-        let floor = self.s.classes.get(usize::from(ask.class)).map_or(0, |c| c.floor);
+        let floor = self.class(ask.class).map_or(0, |c| c.floor);
         *self.seats.entry((ask.class, ask.title)).or_insert(0) += 1;
         let mut session = Session::new(ask, now);
         (session.server, session.rung, session.region) = (Some(id), floor, usize::from(floor));
@@ -916,17 +881,14 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
     fn ended(
         &mut self,
         now: Time,
-        request: RequestId,
-        id: ServerId,
-        outcome: Outcome,
-        closed: bool,
-        report: &Report,
+        (request, id): (RequestId, ServerId),
+        end: (Outcome, bool, Report),
         out: &mut Vec<Action>,
     ) {
+        let (outcome, closed, report) = end;
         let known = self.sessions.get(&request).is_some_and(|s| s.flying && s.server == Some(id));
         if let Some(server) = self.servers.get_mut(&id) {
             server.flights.remove(&request);
@@ -944,10 +906,8 @@
             return;
         }
         self.book(now, request, false);
-        self.report(now, id, report);
-        let Some(session) = self.sessions.get_mut(&request) else {
-            return;
-        };
+        self.report(now, id, &report);
+        let Some(session) = self.sessions.get_mut(&request) else { return };
         session.flying = false;
         session.server = None;
         let never = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
@@ -962,10 +922,9 @@
                 self.ends += 1.0;
             }
             let lost = session.playing && outcome == Outcome::Reset;
-            if let Some(session) = self.sessions.remove(&request) {
-                if lost {
-                    self.lost(&session.ask);
-                }
+            if let Some(session) = self.sessions.remove(&request).filter(|_| lost) {
+                // A lost session's viewer comes again: its other holders count it as an arrival at once.
+                self.arrive(&session.ask);
             }
             self.raise(now, id, out);
         } else {
@@ -973,8 +932,8 @@
         }
     }
 
-    /// A lost session's viewer comes again: its other holders count it as an arrival at once.
-    fn lost(&mut self, ask: &Ask) {
+    /// Counts an arrival at the servers that could take it.
+    fn arrive(&mut self, ask: &Ask) {
         let mut ids = self.holders(ask);
         ids.retain(|id| self.servers[id].phase == Phase::Ready && !self.servers[id].broke);
         for id in &ids {
@@ -990,18 +949,18 @@
             return;
         }
         let playing = self.sessions.values().filter(|s| s.playing).count() as f64;
-        self.seconds += playing * now.0.saturating_sub(last.0) as f64 / SECOND as f64;
+        self.seconds += playing * seconds(now, last);
         self.ticked = Some(now);
         out.push(Action::Wake { at: after(now, SECOND), token: 0 });
-        if self.sized.is_none_or(|t| now.0.saturating_sub(t.0) >= RESIZE) {
+        if self.sized.is_none_or(|t| since(now, t) >= RESIZE) {
             self.resize(now);
         }
-        if self.s.must_ask && now.0.saturating_sub(self.listed.0) > self.s.ask_within / 2 {
+        if self.s.must_ask && since(now, self.listed) > self.s.ask_within / 2 {
             self.listed = now;
             out.push(Action::FetchRoster);
         }
         for server in self.servers.values_mut() {
-            server.short = server.short.filter(|s| now.0.saturating_sub(s.2 .0) < 3 * SECOND);
+            server.short = server.short.filter(|s| since(now, s.2) < 3 * SECOND);
         }
         let calm = |rack: usize| !self.servers.values().any(|s| s.rack == rack && s.short.is_some());
         for rack in (0..self.uplinks.len()).filter(|r| calm(*r)).collect::<Vec<_>>() {
@@ -1025,19 +984,15 @@
                 times.pop_front();
             }
         }
-        let Some(session) = self.sessions.get(&request) else {
-            return false;
-        };
-        let Some(class) = self.s.classes.get(usize::from(session.ask.class)) else {
-            return false;
-        };
+        let Some(session) = self.sessions.get(&request) else { return false };
+        let Some(class) = self.class(session.ask.class) else { return false };
         if session.closed || session.flying || now >= session.ask.deadline {
             return false;
         }
         let again = match (class.effect, session.ran) {
             (Effect::Free, _) | (_, None) => true,
             (Effect::SingleShot, Some(_)) => false,
-            (Effect::Guarded(_), Some((_, sent))) => now.0.saturating_sub(sent.0) < class.repeat_within,
+            (Effect::Guarded(_), Some((_, sent))) => since(now, sent) < class.repeat_within,
         };
         let allowed = self
             .s
@@ -1050,7 +1005,7 @@
 
     /// A guarded class is sent again only within the group of the attempt that may have run.
     fn in_group(&self, session: &Session, server: &Server) -> bool {
-        let effect = self.s.classes.get(usize::from(session.ask.class)).map(|c| c.effect);
+        let effect = self.class(session.ask.class).map(|c| c.effect);
         let first = session.ran.and_then(|(id, _)| self.servers.get(&id));
         match (effect, session.ran.is_some()) {
             (Some(Effect::Guarded(Group::Zone)), true) => first.is_some_and(|f| f.zone == server.zone),
@@ -1060,7 +1015,7 @@
     }
 
     fn has_seat(&self, ask: &Ask) -> bool {
-        let cap = self.s.classes.get(usize::from(ask.class)).map_or(0, |c| c.seats);
+        let cap = self.class(ask.class).map_or(0, |c| c.seats);
         cap == 0 || self.seats.get(&(ask.class, ask.title)).is_none_or(|n| *n < cap)
     }
 
@@ -1068,10 +1023,8 @@
     fn over_share(&mut self, now: Time, tenant: u16) -> bool {
         let quota = self.s.tenant_quota.get(usize::from(tenant)).copied().unwrap_or(0.0);
         let rate = TENANT_SLACK * quota / f64::from(self.s.siblings.max(1));
-        let Some((used, at)) = self.tenants.get_mut(usize::from(tenant)) else {
-            return false;
-        };
-        let past = now.0.saturating_sub(at.0) as f64 / SECOND as f64;
+        let Some((used, at)) = self.tenants.get_mut(usize::from(tenant)) else { return false };
+        let past = seconds(now, *at);
         *used = (*used - rate * past).max(0.0);
         *at = now;
         if rate <= 0.0 || *used + 1.0 <= (rate * TENANT_BURST).max(1.0) {
@@ -1094,7 +1047,7 @@
     fn trouble(&mut self, now: Time) {
         self.good = 0;
         if now >= self.blocked {
-            let calm = now.0.saturating_sub(self.failed.0) > 2 * LONGEST_BLOCK;
+            let calm = since(now, self.failed) > 2 * LONGEST_BLOCK;
             self.failed = now;
             self.block = (if calm { 0 } else { self.block * 2 }).clamp(FIRST_BLOCK, LONGEST_BLOCK);
             self.blocked = after(now, self.block);
