--- a/src/choice.rs
+++ b/src/choice.rs
@@ -6,6 +6,8 @@
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 
+type Out = Vec<Action>;
+
 const SECOND: u64 = 1_000_000_000;
 /// Part of a link or uplink that slots may fill.
 const HEADROOM: f64 = 0.9;
@@ -14,8 +16,7 @@
 /// Part of the links that the expected sessions are priced to fill.
 const PRICED_FILL: f64 = 0.8;
 /// Bounds of the use by all fronts over our own, as multiples of their number.
-const SCALE_LEAST: f64 = 0.7;
-const SCALE_MOST: f64 = 1.4;
+const SCALE: (f64, f64) = (0.7, 1.4);
 /// Seconds after which a measurement begins to give way to the mean.
 const STALE: f64 = 6.0;
 /// Least part of the mean uplink that short deliveries may make us believe in.
@@ -27,20 +28,16 @@
 /// A lowered session is raised no sooner.
 const LOWER_PAUSE: u64 = 6 * SECOND;
 /// Measured ask over give beyond which playing sessions are lowered, and what they are lowered to.
-const OVERRUN: f64 = 1.03;
-const RELIEF: f64 = 0.95;
+const OVERRUN: (f64, f64) = (1.03, 0.95);
 /// Weight of a new measurement against what was believed.
 const TRUST: f64 = 0.6;
 /// Session length believed before any has ended, and the ends that this counts for.
-const FIRST_LENGTH: f64 = 30.0;
-const FIRST_ENDS: f64 = 3.0;
+const FIRST_LENGTH: (f64, f64) = (30.0, 3.0);
 /// First and longest pause of a server that failed us; successes in a row that clear it.
-const FIRST_BLOCK: u64 = SECOND;
-const LONGEST_BLOCK: u64 = 8 * SECOND;
+const BLOCK: (u64, u64) = (SECOND, 8 * SECOND);
 const CLEARING: u32 = 3;
 /// A tenant's rate over its share, and the seconds of it at once, that still count as within it.
-const TENANT_SLACK: f64 = 1.15;
-const TENANT_BURST: f64 = 3.0;
+const TENANT: (f64, f64) = (1.15, 3.0);
 /// Part of the pace that may push over a cold server which the fronts use.
 const COLD_PART: f64 = 0.6;
 
@@ -77,13 +74,10 @@
 
 #[derive(Default)]
 struct Server {
-    phase: Phase,
-    zone: u8,
-    cell: u16,
+    is: Listing,
     rack: usize,
     link: f64,
     places: f64,
-    since: Time,
     gauge: Gauge,
     /// Our sessions' rates, in all and by region, and their number.
     use_kb: f64,
@@ -93,7 +87,6 @@
     slots: Vec<u32>,
     arrivals: f64,
     rate: f64,
-    flights: BTreeMap<RequestId, Time>,
     blocked: Time,
     block: u64,
     good: u32,
@@ -134,8 +127,6 @@
     sessions: BTreeMap<RequestId, Session>,
     uplinks: Vec<Gauge>,
     uplink_kb: Vec<f64>,
-    shared: BTreeMap<(ServerId, u64, u8, u8), u32>,
-    seats: BTreeMap<(u8, u64), u32>,
     tenants: Vec<(f64, Time)>,
     taken: VecDeque<Time>,
     extras: VecDeque<Time>,
@@ -248,13 +239,11 @@
             sessions: BTreeMap::new(),
             uplinks: vec![Gauge::default(); racks],
             uplink_kb: vec![settings.uplink_kb.max(1.0); racks],
-            shared: BTreeMap::new(),
-            seats: BTreeMap::new(),
             tenants: settings.tenant_quota.iter().map(|_| (0.0, now)).collect(),
             taken: VecDeque::new(),
             extras: VecDeque::new(),
-            ends: FIRST_ENDS,
-            seconds: FIRST_ENDS * FIRST_LENGTH,
+            ends: FIRST_LENGTH.1,
+            seconds: FIRST_LENGTH.0 * FIRST_LENGTH.1,
             setup: 0.15 * SECOND as f64,
             ticked: None,
             sized: None,
@@ -286,9 +275,6 @@
             Event::Left(request) => {
                 if let Some(session) = self.sessions.get_mut(&request) {
                     session.closed = true;
-                    if !session.flying {
-                        self.sessions.remove(&request);
-                    }
                 }
             }
             Event::Timer(_) => self.tick(now, out),
@@ -299,7 +285,7 @@
 
     // ---- beliefs about servers and links ----
 
-    fn roster(&mut self, now: Time, kind: RosterKind, entries: Vec<Listing>, out: &mut Vec<Action>) {
+    fn roster(&mut self, now: Time, kind: RosterKind, entries: Vec<Listing>, out: &mut Out) {
         if kind == RosterKind::Failed {
             if self.s.must_ask && since(now, self.listed) > SECOND {
                 self.listed = now;
@@ -311,7 +297,7 @@
         if kind != RosterKind::Delta {
             for (id, server) in self.servers.iter_mut() {
                 if !entries.iter().any(|e| e.server == *id) {
-                    server.phase = Phase::Gone;
+                    server.is.phase = Phase::Gone;
                 }
             }
         }
@@ -324,23 +310,18 @@
                 good: CLEARING,
                 ..Server::default()
             });
-            server.phase = e.phase;
-            server.zone = e.zone;
-            server.cell = e.cell;
+            let restarted = e.since > server.is.since;
             server.rack = usize::from(e.cell) % self.uplinks.len();
             server.link = (self.s.link_kb * weight).max(1.0);
             server.places = self.s.places.get(usize::from(e.kind)).map_or(f64::INFINITY, |p| f64::from(*p));
-            if e.since > server.since {
-                server.since = e.since;
-                let cold_until = after(e.since, self.s.cold);
-                if cold_until > now {
-                    server.cold_until = cold_until.max(server.cold_until);
-                    server.broke = false;
-                    server.blocked = now;
-                    let phase = self.rng.rand_float();
-                    server.next_cold = after(now, (f64::from(phase) * self.s.fall as f64) as u64);
-                }
+            let cold_until = after(e.since, self.s.cold);
+            if restarted && cold_until > now {
+                server.cold_until = cold_until.max(server.cold_until);
+                (server.broke, server.blocked) = (false, now);
+                let phase = f64::from(self.rng.rand_float());
+                server.next_cold = after(now, (phase * self.s.fall as f64) as u64);
             }
+            server.is = e;
         }
     }
 
@@ -359,7 +340,7 @@
 
     /// Mean fill of the servers that were heard; before any was, what our own sessions make likely.
     fn mean_fill(&self) -> f64 {
-        let heard = self.servers.values().filter(|s| s.phase != Phase::Gone && s.gauge.heard.is_some());
+        let heard = self.servers.values().filter(|s| s.is.phase != Phase::Gone && s.gauge.heard.is_some());
         let (n, sum) = heard.fold((0.0, 0.0), |(n, sum), s| (n + 1.0, sum + s.gauge.x));
         let own: f64 = self.servers.values().map(|s| s.use_kb).sum();
         if n > 0.0 {
@@ -384,7 +365,7 @@
         if self.uplinks[rack].heard.is_some() {
             return self.uplinks[rack].x;
         }
-        let up = self.servers.values().filter(|s| s.rack == rack && s.phase != Phase::Gone);
+        let up = self.servers.values().filter(|s| s.rack == rack && s.is.phase != Phase::Gone);
         up.map(|s| self.fill(s, mean).min(1.2) * s.link).sum::<f64>() / self.uplink_kb[rack]
     }
 
@@ -408,10 +389,9 @@
         let (class, rung, region) = (session.ask.class, session.rung, session.region);
         let mut kb = self.kb(class, rung);
         if self.class(class).is_some_and(|c| c.live) {
-            let count = self.shared.entry((id, session.ask.title, class, rung)).or_insert(0);
-            let others = if add { *count } else { count.saturating_sub(1) };
-            kb *= if others > 0 { self.s.join } else { 1.0 };
-            *count = if add { *count + 1 } else { others };
+            let like = |s: &Session| (s.server, s.ask.title, s.ask.class, s.rung);
+            let mut others = self.sessions.iter().filter(|(r, _)| **r != request);
+            kb *= if others.any(|(_, s)| like(s) == like(session)) { self.s.join } else { 1.0 };
         }
         let Some(server) = self.servers.get_mut(&id) else { return };
         let signed = if add { kb } else { -kb };
@@ -424,7 +404,7 @@
         self.uplinks[server.rack].change(now, signed / self.uplink_kb[server.rack]);
     }
 
-    fn note(&mut self, now: Time, request: RequestId, id: ServerId, note: Note, out: &mut Vec<Action>) {
+    fn note(&mut self, now: Time, request: RequestId, id: ServerId, note: Note, out: &mut Out) {
         let mut age = self.s.note_delay;
         if let (Some(session), Note::Link(_)) = (self.sessions.get_mut(&request), note) {
             if !session.noted && since(now, session.started) < SECOND / 3 {
@@ -444,9 +424,7 @@
                 }
             }
             Note::Link(x) => {
-                if let Some(server) = self.servers.get_mut(&id) {
-                    server.gauge.measure(now, x, age);
-                }
+                self.servers.entry(id).and_modify(|s| s.gauge.measure(now, x, age));
             }
             Note::Uplink(x) => {
                 if let Some(server) = self.servers.get(&id) {
@@ -516,11 +494,11 @@
         let own: f64 = self.servers.values().map(|s| s.use_kb).sum();
         let all: f64 = self.up().map(|s| self.fill(s, mean) * s.link).sum();
         let seen = if own > 0.0 { all / own } else { siblings };
-        seen.clamp(SCALE_LEAST * siblings, SCALE_MOST * siblings).max(1.0)
+        seen.clamp(SCALE.0 * siblings, SCALE.1 * siblings).max(1.0)
     }
 
     fn up(&self) -> impl Iterator<Item = &Server> {
-        self.servers.values().filter(|s| s.phase == Phase::Ready && !s.broke)
+        self.servers.values().filter(|s| s.is.phase == Phase::Ready && !s.broke)
     }
 
     /// Sizes every link's regions for the arrivals counted since they were last sized.
@@ -589,8 +567,8 @@
 
     fn holders(&self, ask: &Ask) -> Vec<ServerId> {
         let cells = self.s.cells.max(1);
-        let holds = |s: &Server| (u32::from(s.cell) + cells - ask.first_cell % cells) % cells < ask.copies;
-        let cells_ok = |s: &Server| u32::from(s.cell) < cells;
+        let holds = |s: &Server| (u32::from(s.is.cell) + cells - ask.first_cell % cells) % cells < ask.copies;
+        let cells_ok = |s: &Server| u32::from(s.is.cell) < cells;
         self.servers.iter().filter(|(_, s)| cells_ok(s) && holds(s)).map(|(id, _)| *id).collect()
     }
 
@@ -648,19 +626,17 @@
     }
 
     /// Whether a server may be sent a set-up now.
-    fn usable(&self, now: Time, server: &Server, free: bool) -> bool {
+    fn usable(&self, now: Time, id: ServerId, free: bool) -> bool {
+        let Some(server) = self.servers.get(&id) else { return false };
         let slow = (4.0 * self.setup).max(0.3 * SECOND as f64) as u64;
-        let stuck = server.flights.values().any(|t| since(now, *t) > slow);
-        let trial = server.good < CLEARING;
-        server.phase == Phase::Ready
+        let mut flights = self.sessions.values().filter(|s| s.server == Some(id) && !s.playing).peekable();
+        let trial = server.good < CLEARING && (!free || flights.peek().is_some());
+        let stuck = flights.any(|s| since(now, s.sent) > slow);
+        server.is.phase == Phase::Ready
             && now >= server.blocked
             && !stuck
-            && !(trial && (!free || !server.flights.is_empty()))
-            && !(self.is_cold(now, server) && now < server.next_cold)
-    }
-
-    fn is_cold(&self, now: Time, server: &Server) -> bool {
-        server.broke || now < server.cold_until
+            && !trial
+            && !((server.broke || now < server.cold_until) && now < server.next_cold)
     }
 
     /// Two random holders: the higher rung offered, then the lighter; the others only when both are full.
@@ -673,7 +649,7 @@
         let mut ids = self.holders(&ask);
         ids.retain(|id| {
             let server = &self.servers[id];
-            self.usable(now, server, free) && !session.tried.contains(id) && self.in_group(session, server)
+            self.usable(now, *id, free) && !session.tried.contains(id) && self.in_group(session, server)
         });
         for i in (1..ids.len()).rev() {
             let j = self.rng.rand_range(0..i as u32 + 1) as usize;
@@ -684,7 +660,7 @@
             let offers = pair.iter().filter_map(|id| {
                 let server = &self.servers[id];
                 let fill = self.fill(server, mean).max(self.uplink_fill(server.rack, mean));
-                let away = if server.zone != self.s.zone { self.s.cross_zone_price } else { 0.0 };
+                let away = if server.is.zone != self.s.zone { self.s.cross_zone_price } else { 0.0 };
                 let (region, rung) = self.offer(&ask, *id, None)?;
                 match over_share {
                     // Beyond its tenant's share a session is worth little: the lowest rung, and only where room is.
@@ -703,9 +679,9 @@
     // ---- raises ----
 
     /// Raises sessions at a server, the nearest lower region first and the longest waiting in it.
-    fn raise(&mut self, now: Time, id: ServerId, out: &mut Vec<Action>) {
+    fn raise(&mut self, now: Time, id: ServerId, out: &mut Out) {
         let Some(server) = self.servers.get(&id) else { return };
-        if server.phase == Phase::Gone || now < server.blocked {
+        if server.is.phase == Phase::Gone || now < server.blocked {
             return;
         }
         let mut waiting: Vec<_> = self
@@ -734,7 +710,7 @@
         }
     }
 
-    fn set_rung(&mut self, now: Time, request: RequestId, at: (usize, u8), hold: u64, out: &mut Vec<Action>) {
+    fn set_rung(&mut self, now: Time, request: RequestId, at: (usize, u8), hold: u64, out: &mut Out) {
         self.book(now, request, false);
         if let Some(session) = self.sessions.get_mut(&request) {
             (session.region, session.rung) = at;
@@ -745,15 +721,15 @@
     }
 
     /// Departure: where a link or uplink is measured to be overrun, each front lowers its part of the excess.
-    fn relieve(&mut self, now: Time, id: ServerId, out: &mut Vec<Action>) {
+    fn relieve(&mut self, now: Time, id: ServerId, out: &mut Out) {
         let mean = self.mean_fill();
         let Some(server) = self.servers.get(&id) else { return };
         let (link, uplink) = (self.fill(server, mean), self.uplink_fill(server.rack, mean));
         let x = link.max(uplink);
-        if x <= OVERRUN || now < server.next_relief {
+        if x <= OVERRUN.0 || now < server.next_relief {
             return;
         }
-        let mut need = server.use_kb * (1.0 - RELIEF / x);
+        let mut need = server.use_kb * (1.0 - OVERRUN.1 / x);
         let here = |s: &Session| s.server == Some(id) && s.playing && !s.closed;
         let mut rungs: BTreeMap<_, _> =
             self.sessions.iter().filter(|(_, s)| here(s)).map(|(r, s)| (*r, s.rung)).collect();
@@ -778,14 +754,13 @@
         for request in lowered {
             self.set_rung(now, request, (usize::from(rungs[&request]), rungs[&request]), LOWER_PAUSE, out);
         }
-        if let Some(server) = self.servers.get_mut(&id) {
-            server.next_relief = after(now, self.s.note_delay + SECOND);
-        }
+        let pause = self.s.note_delay.saturating_add(SECOND);
+        self.servers.entry(id).and_modify(|s| s.next_relief = after(now, pause));
     }
 
     // ---- attempts, time-outs and refusals ----
 
-    fn ask(&mut self, now: Time, ask: Ask, out: &mut Vec<Action>) {
+    fn ask(&mut self, now: Time, ask: Ask, out: &mut Out) {
         self.seen(&ask);
         if self.sized.is_none() {
             self.resize(now);
@@ -803,7 +778,7 @@
     }
 
     /// Sends the next attempt, or gives the final answer at once.
-    fn next(&mut self, now: Time, request: RequestId, over_share: bool, out: &mut Vec<Action>) {
+    fn next(&mut self, now: Time, request: RequestId, over_share: bool, out: &mut Out) {
         let Some(session) = self.sessions.get(&request) else { return };
         let seat = self.has_seat(&session.ask);
         let may = seat && self.may_attempt(now, request);
@@ -833,30 +808,22 @@
         if session.attempts > 1 {
             self.extras.push_back(now);
         }
-        *self.seats.entry((session.ask.class, session.ask.title)).or_insert(0) += 1;
         let interval = self.cold_interval(id);
-        let server = self.servers.get_mut(&id);
-        if let Some(server) = server {
-            server.flights.insert(request, now);
-            server.next_cold = after(now, interval);
-        }
+        self.servers.entry(id).and_modify(|s| s.next_cold = after(now, interval));
         self.book(now, request, true);
         out.push(Action::Rung { request, rung });
         out.push(Action::Attempt { request, server: id, timeout });
     }
 
     fn seen(&mut self, ask: &Ask) {
-        self.mix.push_back((ask.class, ask.top));
-        if self.mix.len() > 100 {
-            self.mix.pop_front();
-        }
+        self.mix.push_front((ask.class, ask.top));
+        self.mix.truncate(100);
     }
 
     fn adopted(&mut self, now: Time, ask: Ask, id: ServerId) {
         self.seen(&ask);
         let request = ask.request;
         let floor = self.class(ask.class).map_or(0, |c| c.floor);
-        *self.seats.entry((ask.class, ask.title)).or_insert(0) += 1;
         let mut session = Session::new(ask, now);
         (session.server, session.rung, session.region) = (Some(id), floor, usize::from(floor));
         (session.flying, session.playing, session.noted, session.attempts) = (true, true, true, 1);
@@ -870,28 +837,19 @@
         if let Some(session) = self.sessions.get_mut(&request) {
             (session.playing, session.started) = (true, now);
         }
-        let cold = self.s.cold;
         if let Some(server) = self.servers.get_mut(&id) {
-            server.flights.remove(&request);
             server.good = (server.good + 1).min(CLEARING);
             if server.broke {
                 server.broke = false;
-                server.cold_until = server.cold_until.max(after(now, cold));
+                server.cold_until = server.cold_until.max(after(now, self.s.cold));
             }
         }
     }
 
-    fn ended(
-        &mut self,
-        now: Time,
-        (request, id): (RequestId, ServerId),
-        end: (Outcome, bool, Report),
-        out: &mut Vec<Action>,
-    ) {
-        let (outcome, closed, report) = end;
+    fn ended(&mut self, now: Time, of: (RequestId, ServerId), end: (Outcome, bool, Report), out: &mut Out) {
+        let ((request, id), (outcome, closed, report)) = (of, end);
         let known = self.sessions.get(&request).is_some_and(|s| s.flying && s.server == Some(id));
         if let Some(server) = self.servers.get_mut(&id) {
-            server.flights.remove(&request);
             match outcome {
                 Outcome::Error | Outcome::Timeout => server.trouble(now),
                 Outcome::ConnectFailed | Outcome::Reset => {
@@ -914,9 +872,6 @@
         if !never && session.ran.is_none() {
             session.ran = Some((id, session.sent));
         }
-        if let Some(seats) = self.seats.get_mut(&(session.ask.class, session.ask.title)) {
-            *seats = seats.saturating_sub(1);
-        }
         if session.playing || session.closed || closed || outcome == Outcome::Ok {
             if session.playing && outcome == Outcome::Ok {
                 self.ends += 1.0;
@@ -935,7 +890,7 @@
     /// Counts an arrival at the servers that could take it.
     fn arrive(&mut self, ask: &Ask) {
         let mut ids = self.holders(ask);
-        ids.retain(|id| self.servers[id].phase == Phase::Ready && !self.servers[id].broke);
+        ids.retain(|id| self.servers[id].is.phase == Phase::Ready && !self.servers[id].broke);
         for id in &ids {
             if let Some(server) = self.servers.get_mut(id) {
                 server.arrivals += 1.0 / ids.len() as f64;
@@ -943,7 +898,7 @@
         }
     }
 
-    fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+    fn tick(&mut self, now: Time, out: &mut Out) {
         let Some(last) = self.ticked else { return };
         if now <= last {
             return;
@@ -1008,26 +963,27 @@
         let effect = self.class(session.ask.class).map(|c| c.effect);
         let first = session.ran.and_then(|(id, _)| self.servers.get(&id));
         match (effect, session.ran.is_some()) {
-            (Some(Effect::Guarded(Group::Zone)), true) => first.is_some_and(|f| f.zone == server.zone),
-            (Some(Effect::Guarded(Group::Cell)), true) => first.is_some_and(|f| f.cell == server.cell),
+            (Some(Effect::Guarded(Group::Zone)), true) => first.is_some_and(|f| f.is.zone == server.is.zone),
+            (Some(Effect::Guarded(Group::Cell)), true) => first.is_some_and(|f| f.is.cell == server.is.cell),
             _ => true,
         }
     }
 
     fn has_seat(&self, ask: &Ask) -> bool {
-        let cap = self.class(ask.class).map_or(0, |c| c.seats);
-        cap == 0 || self.seats.get(&(ask.class, ask.title)).is_none_or(|n| *n < cap)
+        let cap = self.class(ask.class).map_or(0, |c| c.seats) as usize;
+        let same = |s: &&Session| s.flying && (s.ask.class, s.ask.title) == (ask.class, ask.title);
+        cap == 0 || self.sessions.values().filter(same).count() < cap
     }
 
     /// Whether a tenant is beyond this front's part of its share.
     fn over_share(&mut self, now: Time, tenant: u16) -> bool {
         let quota = self.s.tenant_quota.get(usize::from(tenant)).copied().unwrap_or(0.0);
-        let rate = TENANT_SLACK * quota / f64::from(self.s.siblings.max(1));
+        let rate = TENANT.0 * quota / f64::from(self.s.siblings.max(1));
         let Some((used, at)) = self.tenants.get_mut(usize::from(tenant)) else { return false };
         let past = seconds(now, *at);
         *used = (*used - rate * past).max(0.0);
         *at = now;
-        if rate <= 0.0 || *used + 1.0 <= (rate * TENANT_BURST).max(1.0) {
+        if rate <= 0.0 || *used + 1.0 <= (rate * TENANT.1).max(1.0) {
             *used += 1.0;
             return false;
         }
@@ -1047,9 +1003,9 @@
     fn trouble(&mut self, now: Time) {
         self.good = 0;
         if now >= self.blocked {
-            let calm = since(now, self.failed) > 2 * LONGEST_BLOCK;
+            let calm = since(now, self.failed) > 2 * BLOCK.1;
             self.failed = now;
-            self.block = (if calm { 0 } else { self.block * 2 }).clamp(FIRST_BLOCK, LONGEST_BLOCK);
+            self.block = (if calm { 0 } else { self.block * 2 }).clamp(BLOCK.0, BLOCK.1);
             self.blocked = after(now, self.block);
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -3,7 +3,7 @@
 //! Times and durations are in nanoseconds; rates in kB a second; rungs count from 0, the lowest.
 
 /// A media server, the same at every front.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u32);
 
 /// One request for a session; a viewer who comes again has a new one.
@@ -167,7 +167,7 @@
 }
 
 /// One entry of the list of servers.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Listing {
     /// The server.
     pub server: ServerId,
