--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,28 +9,19 @@
 type Out = Vec<Action>;
 
 const SECOND: u64 = 1_000_000_000;
-/// Part of a link or uplink that slots may fill.
-const HEADROOM: f64 = 0.9;
-/// Below this part of link and uplink a session gets the highest rung that fits.
-const LOW_MARK: f64 = 0.8;
-/// Part of the links that the expected sessions are priced to fill.
-const PRICED_FILL: f64 = 0.8;
+const HEADROOM: f64 = 0.9; // Part of a link or uplink that slots may fill.
+const LOW_MARK: f64 = 0.8; // Below this part of link and uplink a session gets the highest rung that fits.
+const PRICED_FILL: f64 = 0.8; // Part of the links that the expected sessions are priced to fill.
 /// Bounds of the use by all fronts over our own, as multiples of their number.
 const SCALE: (f64, f64) = (0.7, 1.4);
-/// Seconds after which a measurement begins to give way to the mean.
-const STALE: f64 = 6.0;
-/// Least part of the mean uplink that short deliveries may make us believe in.
-const UPLINK_LEAST: f64 = 0.4;
-/// Regions are sized anew, and arrivals counted, over this time.
-const RESIZE: u64 = 10 * SECOND;
-/// A session is raised once in this time at most.
-const RAISE_PAUSE: u64 = 30 * SECOND;
-/// A lowered session is raised no sooner.
-const LOWER_PAUSE: u64 = 6 * SECOND;
+const STALE: f64 = 6.0; // Seconds after which a measurement begins to give way to the mean.
+const UPLINK_LEAST: f64 = 0.4; // Least part of the mean uplink that short deliveries may make us believe in.
+const RESIZE: u64 = 10 * SECOND; // Regions are sized anew, and arrivals counted, over this time.
+const RAISE_PAUSE: u64 = 30 * SECOND; // A session is raised once in this time at most.
+const LOWER_PAUSE: u64 = 6 * SECOND; // A lowered session is raised no sooner.
 /// Measured ask over give beyond which playing sessions are lowered, and what they are lowered to.
 const OVERRUN: (f64, f64) = (1.03, 0.95);
-/// Weight of a new measurement against what was believed.
-const TRUST: f64 = 0.6;
+const TRUST: f64 = 0.6; // Weight of a new measurement against what was believed.
 /// Session length believed before any has ended, and the ends that this counts for.
 const FIRST_LENGTH: (f64, f64) = (30.0, 3.0);
 /// First and longest pause of a server that failed us; successes in a row that clear it.
@@ -38,12 +29,12 @@
 const CLEARING: u32 = 3;
 /// A tenant's rate over its share, and the seconds of it at once, that still count as within it.
 const TENANT: (f64, f64) = (1.15, 3.0);
-/// Part of the pace that may push over a cold server which the fronts use.
-const COLD_PART: f64 = 0.6;
+const COLD_PART: f64 = 0.6; // Part of the pace that may push over a cold server which the fronts use.
 
 /// Belief about what is asked of a link or uplink over what it gives.
 #[derive(Clone, Default)]
 struct Gauge {
+    gives: f64,
     x: f64,
     heard: Option<Time>,
     own: VecDeque<(Time, f64)>,
@@ -51,7 +42,8 @@
 
 impl Gauge {
     /// Our own change, as a part of what is given.
-    fn change(&mut self, now: Time, part: f64) {
+    fn change(&mut self, now: Time, kb: f64) {
+        let part = kb / self.gives;
         self.x = (self.x + part).max(0.0);
         self.own.push_back((now, part));
         while self.own.front().is_some_and(|&(t, _)| since(now, t) > 8 * SECOND) {
@@ -76,23 +68,19 @@
 struct Server {
     is: Listing,
     rack: usize,
-    link: f64,
     places: f64,
     gauge: Gauge,
-    /// Our sessions' rates, in all and by region, and their number.
-    use_kb: f64,
+    use_kb: f64, // Our sessions' rates, in all and by region, and their number.
     region_kb: Vec<f64>,
     ours: u32,
-    /// Slots of each region, and arrivals counted since they were last sized.
-    slots: Vec<u32>,
+    slots: Vec<u32>, // Slots of each region, and arrivals counted since they were last sized.
     arrivals: f64,
     rate: f64,
     blocked: Time,
     block: u64,
     good: u32,
     broke: bool,
-    /// Share delivered while it is short, since when, and when last told.
-    short: Option<(f64, Time, Time)>,
+    short: Option<(f64, Time, Time)>, // Share delivered while it is short, since when, and when last told.
     failed: Time,
     cold_until: Time,
     next_cold: Time,
@@ -109,8 +97,7 @@
     flying: bool,
     playing: bool,
     closed: bool,
-    /// Where and when the first attempt went that may have run.
-    ran: Option<(ServerId, Time)>,
+    ran: Option<(ServerId, Time)>, // Where and when the first attempt went that may have run.
     sent: Time,
     started: Time,
     noted: bool,
@@ -126,7 +113,6 @@
     servers: BTreeMap<ServerId, Server>,
     sessions: BTreeMap<RequestId, Session>,
     uplinks: Vec<Gauge>,
-    uplink_kb: Vec<f64>,
     tenants: Vec<(f64, Time)>,
     taken: VecDeque<Time>,
     extras: VecDeque<Time>,
@@ -190,29 +176,21 @@
         let mut current = value(&n);
         for _ in 0..200 {
             let mut next: Option<(f64, Vec<u32>)> = None;
-            let mut look = |m: Vec<u32>| {
-                let v = if fits(&m) { value(&m) } else { f64::NEG_INFINITY };
-                if v > current + 1e-9 && next.as_ref().is_none_or(|(b, _)| v > *b) {
-                    next = Some((v, m));
-                }
-            };
             for to in 0..kb.len() {
                 for from in 0..kb.len() {
-                    // One more slot above for as few below as it takes, or one less above for all that it frees.
+                    // As few slots less as make room for one more, and then as many more as fit.
                     let mut m = n.clone();
-                    m[to] += 1;
-                    while from != to && !fits(&m) && m[from] > 0 {
-                        m[from] -= 1;
-                    }
-                    look(m);
-                    let mut m = n.clone();
-                    m[from] = m[from].saturating_sub(1);
-                    m[to] += u32::from(from != to);
+                    let less =
+                        if from == to { 0 } else { (kb[to] / kb[from].max(1e-9)).ceil().max(1.0) as u32 };
+                    m[from] = m[from].saturating_sub(less);
                     while fits(&m) && m[to] < places {
                         m[to] += 1;
                     }
-                    m[to] = m[to].saturating_sub(1);
-                    look(m);
+                    m[to] -= u32::from(!fits(&m));
+                    let v = value(&m);
+                    if fits(&m) && v > current + 1e-9 && next.as_ref().is_none_or(|(b, _)| v > *b) {
+                        next = Some((v, m));
+                    }
                 }
             }
             let Some((v, m)) = next else { break };
@@ -237,8 +215,7 @@
             rng: oorandom::Rand32::new(seed),
             servers: BTreeMap::new(),
             sessions: BTreeMap::new(),
-            uplinks: vec![Gauge::default(); racks],
-            uplink_kb: vec![settings.uplink_kb.max(1.0); racks],
+            uplinks: vec![Gauge { gives: settings.uplink_kb.max(1.0), ..Gauge::default() }; racks],
             tenants: settings.tenant_quota.iter().map(|_| (0.0, now)).collect(),
             taken: VecDeque::new(),
             extras: VecDeque::new(),
@@ -312,7 +289,7 @@
             });
             let restarted = e.since > server.is.since;
             server.rack = usize::from(e.cell) % self.uplinks.len();
-            server.link = (self.s.link_kb * weight).max(1.0);
+            server.gauge.gives = (self.s.link_kb * weight).max(1.0);
             server.places = self.s.places.get(usize::from(e.kind)).map_or(f64::INFINITY, |p| f64::from(*p));
             let cold_until = after(e.since, self.s.cold);
             if restarted && cold_until > now {
@@ -354,7 +331,7 @@
     /// old news.
     fn fill(&self, server: &Server, mean: f64) -> f64 {
         let now = self.ticked.unwrap_or_default();
-        let own = server.use_kb / server.link;
+        let own = server.use_kb / server.gauge.gives;
         let Some(heard) = server.gauge.heard else { return mean.max(own) };
         let old = seconds(now, heard) - STALE;
         let fresh = (-old.max(0.0) / STALE).exp();
@@ -366,7 +343,7 @@
             return self.uplinks[rack].x;
         }
         let up = self.servers.values().filter(|s| s.rack == rack && s.is.phase != Phase::Gone);
-        up.map(|s| self.fill(s, mean).min(1.2) * s.link).sum::<f64>() / self.uplink_kb[rack]
+        up.map(|s| self.fill(s, mean).min(1.2) * s.gauge.gives).sum::<f64>() / self.uplinks[rack].gives
     }
 
     fn class(&self, class: u8) -> Option<&Class> {
@@ -400,8 +377,8 @@
             *kb = (*kb + signed).max(0.0);
         }
         server.ours = if add { server.ours + 1 } else { server.ours.saturating_sub(1) };
-        server.gauge.change(now, signed / server.link);
-        self.uplinks[server.rack].change(now, signed / self.uplink_kb[server.rack]);
+        server.gauge.change(now, signed);
+        self.uplinks[server.rack].change(now, signed);
     }
 
     fn note(&mut self, now: Time, request: RequestId, id: ServerId, note: Note, out: &mut Out) {
@@ -459,9 +436,9 @@
         } else if self.servers.iter().any(|(i, s)| *i != id && s.rack == rack && unlike_link(s)) {
             if self.uplinks[rack].heard.is_none() {
                 // Without reports of the uplink, what it gives is learnt from what it fails to deliver.
-                let asked = self.uplink_fill(rack, mean) * self.uplink_kb[rack];
+                let asked = self.uplink_fill(rack, mean) * self.uplinks[rack].gives;
                 let gives = (asked * share).max(UPLINK_LEAST * self.s.uplink_kb).max(1.0);
-                self.uplink_kb[rack] += 0.5 * (gives - self.uplink_kb[rack]);
+                self.uplinks[rack].gives += 0.5 * (gives - self.uplinks[rack].gives);
             }
         } else if let Some(server) = self.servers.get_mut(&id).filter(|_| share < 0.75) {
             // Danger: a server that hangs, or delivers too little for a cause of its own, still takes set-ups.
@@ -477,22 +454,17 @@
     }
 
     fn mean_factor(&self) -> f64 {
-        let playing = self.sessions.values().filter(|s| s.server.is_some());
-        let (n, sum) = playing.fold((0.0, 0.0), |(n, sum), s| {
-            (n + 1.0, sum + self.class(s.ask.class).map_or(1.0, |c| c.rate_factor))
-        });
-        if n > 0.0 {
-            sum / n
-        } else {
-            1.0
-        }
+        let placed = self.sessions.values().filter(|s| s.server.is_some());
+        let factors: Vec<f64> =
+            placed.filter_map(|s| self.class(s.ask.class)).map(|c| c.rate_factor).collect();
+        factors.iter().sum::<f64>().max(f64::from(u8::from(factors.is_empty()))) / factors.len().max(1) as f64
     }
 
     /// What is asked of all links over what is asked of them for our own sessions: our part, turned over.
     fn scale(&self, mean: f64) -> f64 {
         let siblings = f64::from(self.s.siblings.max(1));
         let own: f64 = self.servers.values().map(|s| s.use_kb).sum();
-        let all: f64 = self.up().map(|s| self.fill(s, mean) * s.link).sum();
+        let all: f64 = self.up().map(|s| self.fill(s, mean) * s.gauge.gives).sum();
         let seen = if own > 0.0 { all / own } else { siblings };
         seen.clamp(SCALE.0 * siblings, SCALE.1 * siblings).max(1.0)
     }
@@ -521,7 +493,7 @@
                 }
             };
             server.arrivals = 0.0;
-            let budget = HEADROOM * server.link * shares[server.rack];
+            let budget = HEADROOM * server.gauge.gives * shares[server.rack];
             let places = server.places.min(10_000.0) as u32;
             server.slots = best_regions(offered, &kb, &self.s.rung_worth, budget, places);
         }
@@ -530,8 +502,8 @@
 
     /// Part of a rack's links that its uplink can carry.
     fn uplink_share(&self, rack: usize) -> f64 {
-        let links: f64 = self.up().filter(|s| s.rack == rack).map(|s| s.link).sum();
-        (self.uplink_kb[rack] / links.max(1.0)).min(1.0)
+        let links: f64 = self.up().filter(|s| s.rack == rack).map(|s| s.gauge.gives).sum();
+        (self.uplinks[rack].gives / links.max(1.0)).min(1.0)
     }
 
     /// The worth of a kB a second at which the sessions expected, each at its best rung, just fill the links.
@@ -539,7 +511,8 @@
         let mean = self.mean_fill();
         let playing = self.sessions.values().filter(|s| s.server.is_some()).count() as f64;
         let sessions = playing * self.scale(mean);
-        let room: f64 = self.up().map(|s| s.link * self.uplink_share(s.rack)).sum::<f64>() * PRICED_FILL;
+        let room: f64 =
+            self.up().map(|s| s.gauge.gives * self.uplink_share(s.rack)).sum::<f64>() * PRICED_FILL;
         let (mut low, mut high) = (0.0, self.top_price());
         for _ in 0..30 {
             self.price = 0.5 * (low + high);
@@ -581,7 +554,7 @@
         let fair = if held.is_some() { f64::from(self.s.siblings.max(1)) } else { 1.0 };
         let held_kb = held.map_or(0.0, |(_, rung)| self.kb(ask.class, rung));
         let (link, uplink) = (self.fill(server, mean), self.uplink_fill(server.rack, mean));
-        let others = (link * server.link - server.use_kb).max(0.0);
+        let others = (link * server.gauge.gives - server.use_kb).max(0.0);
         let mix: f64 = self.servers.values().map(|s| s.use_kb).sum();
         if held.is_none() && server.use_kb > 0.0 {
             let streams = f64::from(server.ours) * (1.0 + others / server.use_kb);
@@ -598,7 +571,8 @@
             let kb = self.kb(ask.class, rung);
             let more = (kb - held_kb) * fair;
             let fits = |mark: f64| {
-                link + more / server.link <= mark && uplink + more / self.uplink_kb[server.rack] <= mark
+                link + more / server.gauge.gives <= mark
+                    && uplink + more / self.uplinks[server.rack].gives <= mark
             };
             if fits(LOW_MARK) && rung <= priced {
                 return Some((usize::from(rung), rung));
@@ -606,11 +580,7 @@
             if !fits(HEADROOM) {
                 continue;
             }
-            let spread: f64 = if mix > 0.0 {
-                self.servers.values().map(|s| s.region_kb[region]).sum::<f64>() / mix
-            } else {
-                1.0 / self.s.rung_kb.len() as f64
-            };
+            let spread = self.servers.values().map(|s| s.region_kb[region]).sum::<f64>() / mix.max(1.0);
             let inside = held.is_some_and(|(r, _)| r == region);
             let occupied = server.region_kb[region] + others * spread - if inside { held_kb } else { 0.0 };
             let slot = self.s.rung_kb[region] * factor;
@@ -620,8 +590,8 @@
         }
         // Regions lag behind and rates are rough: while the link is measured to have room, the lowest rung goes.
         let kb = self.kb(ask.class, class.floor);
-        let room =
-            link + kb / server.link <= HEADROOM && uplink + kb / self.uplink_kb[server.rack] <= HEADROOM;
+        let room = link + kb / server.gauge.gives <= HEADROOM
+            && uplink + kb / self.uplinks[server.rack].gives <= HEADROOM;
         (held.is_none() && room && class.floor <= top).then_some((usize::from(class.floor), class.floor))
     }
 
@@ -680,8 +650,8 @@
 
     /// Raises sessions at a server, the nearest lower region first and the longest waiting in it.
     fn raise(&mut self, now: Time, id: ServerId, out: &mut Out) {
-        let Some(server) = self.servers.get(&id) else { return };
-        if server.is.phase == Phase::Gone || now < server.blocked {
+        let fit = |s: &Server| s.is.phase != Phase::Gone && now >= s.blocked;
+        if !self.servers.get(&id).is_some_and(fit) {
             return;
         }
         let mut waiting: Vec<_> = self
@@ -694,19 +664,16 @@
         for (_, _, request) in waiting {
             let Some(session) = self.sessions.get(&request) else { continue };
             let held = (session.region, session.rung);
-            let Some((region, rung)) = self.offer(&session.ask, id, Some(held)) else { continue };
-            if rung <= held.1 {
-                continue;
-            }
+            let offer = self.offer(&session.ask, id, Some(held)).filter(|(_, rung)| *rung > held.1);
+            let Some((region, rung)) = offer else { continue };
             let left = match session.ask.hint {
                 Some(hint) => (hint as f64 - since(now, session.started) as f64) / SECOND as f64,
                 None => self.length(),
             };
             let gain = self.s.rung_worth[usize::from(rung)] - self.s.rung_worth[usize::from(held.1)];
-            if gain * left <= self.s.switch_seconds {
-                continue;
+            if gain * left > self.s.switch_seconds {
+                self.set_rung(now, request, (region, rung), RAISE_PAUSE, out);
             }
-            self.set_rung(now, request, (region, rung), RAISE_PAUSE, out);
         }
     }
 
@@ -850,24 +817,21 @@
         let ((request, id), (outcome, closed, report)) = (of, end);
         let known = self.sessions.get(&request).is_some_and(|s| s.flying && s.server == Some(id));
         if let Some(server) = self.servers.get_mut(&id) {
+            server.broke |= matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
             match outcome {
-                Outcome::Error | Outcome::Timeout => server.trouble(now),
-                Outcome::ConnectFailed | Outcome::Reset => {
-                    server.broke = true;
-                    server.trouble(now);
+                Outcome::Error | Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset => {
+                    server.trouble(now)
                 }
                 Outcome::Full => server.gauge.x = server.gauge.x.max(self.s.server_guard.min(1.0)),
                 _ => {}
             }
         }
-        if !known {
-            return;
+        if known {
+            self.book(now, request, false);
+            self.report(now, id, &report);
         }
-        self.book(now, request, false);
-        self.report(now, id, &report);
-        let Some(session) = self.sessions.get_mut(&request) else { return };
-        session.flying = false;
-        session.server = None;
+        let Some(session) = self.sessions.get_mut(&request).filter(|_| known) else { return };
+        (session.flying, session.server) = (false, None);
         let never = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
         if !never && session.ran.is_none() {
             session.ran = Some((id, session.sent));
@@ -919,7 +883,7 @@
         }
         let calm = |rack: usize| !self.servers.values().any(|s| s.rack == rack && s.short.is_some());
         for rack in (0..self.uplinks.len()).filter(|r| calm(*r)).collect::<Vec<_>>() {
-            self.uplink_kb[rack] += 0.02 * (self.s.uplink_kb - self.uplink_kb[rack]).max(0.0);
+            self.uplinks[rack].gives += 0.02 * (self.s.uplink_kb - self.uplinks[rack].gives).max(0.0);
         }
         self.reprice();
         let ids: Vec<_> = self.servers.keys().copied().collect();
