--- a/src/choice.rs
+++ b/src/choice.rs
@@ -46,9 +46,7 @@
         let part = kb / self.gives;
         self.x = (self.x + part).max(0.0);
         self.own.push_back((now, part));
-        while self.own.front().is_some_and(|&(t, _)| since(now, t) > 8 * SECOND) {
-            self.own.pop_front();
-        }
+        self.own.retain(|&(t, _)| since(now, t) < 8 * SECOND);
     }
 
     /// A measurement of `age` ago: own changes since then are added to it.
@@ -72,13 +70,12 @@
     gauge: Gauge,
     use_kb: f64, // Our sessions' rates, in all and by region, and their number.
     region_kb: Vec<f64>,
-    ours: u32,
     slots: Vec<u32>, // Slots of each region, and arrivals counted since they were last sized.
     arrivals: f64,
     rate: f64,
     blocked: Time,
     block: u64,
-    good: u32,
+    doubts: u32,
     broke: bool,
     short: Option<(f64, Time, Time)>, // Share delivered while it is short, since when, and when last told.
     failed: Time,
@@ -98,9 +95,7 @@
     playing: bool,
     closed: bool,
     ran: Option<(ServerId, Time)>, // Where and when the first attempt went that may have run.
-    sent: Time,
     started: Time,
-    noted: bool,
     waiting: Time,
     hold: Time,
     tried: Vec<ServerId>,
@@ -249,11 +244,7 @@
             Event::Ended { request, server, outcome, closed, report, .. } => {
                 self.ended(now, (request, server), (outcome, closed, report), out)
             }
-            Event::Left(request) => {
-                if let Some(session) = self.sessions.get_mut(&request) {
-                    session.closed = true;
-                }
-            }
+            Event::Left(request) => drop(self.sessions.entry(request).and_modify(|s| s.closed = true)),
             Event::Timer(_) => self.tick(now, out),
             Event::Probed { server, report, .. } => self.report(now, server, &report),
             Event::Told { .. } => {}
@@ -281,12 +272,9 @@
         for e in entries {
             let rungs = self.s.rung_kb.len();
             let weight = if e.weight.is_finite() && e.weight > 0.0 { e.weight } else { 1.0 };
-            let server = self.servers.entry(e.server).or_insert_with(|| Server {
-                region_kb: vec![0.0; rungs],
-                slots: vec![0; rungs],
-                good: CLEARING,
-                ..Server::default()
-            });
+            let server = self.servers.entry(e.server).or_default();
+            server.region_kb.resize(rungs, 0.0);
+            server.slots.resize(rungs, 0);
             let restarted = e.since > server.is.since;
             server.rack = usize::from(e.cell) % self.uplinks.len();
             server.gauge.gives = (self.s.link_kb * weight).max(1.0);
@@ -376,38 +364,22 @@
         if let Some(kb) = server.region_kb.get_mut(region) {
             *kb = (*kb + signed).max(0.0);
         }
-        server.ours = if add { server.ours + 1 } else { server.ours.saturating_sub(1) };
         server.gauge.change(now, signed);
         self.uplinks[server.rack].change(now, signed);
     }
 
     fn note(&mut self, now: Time, request: RequestId, id: ServerId, note: Note, out: &mut Out) {
-        let mut age = self.s.note_delay;
-        if let (Some(session), Note::Link(_)) = (self.sessions.get_mut(&request), note) {
-            if !session.noted && since(now, session.started) < SECOND / 3 {
-                age = 0;
-            }
-            session.noted = true;
-        }
+        // The note at set-up is fresh, later ones are late.
+        let fresh = self.sessions.get(&request).is_some_and(|s| since(now, s.started) < SECOND / 3);
+        let age = if fresh { 0 } else { self.s.note_delay };
+        let rack = self.servers.get(&id).map_or(0, |s| s.rack);
         match note {
-            Note::Rung(rung) => {
-                let Some(session) = self.sessions.get(&request) else { return };
-                if session.rung != rung && usize::from(rung) < self.s.rung_kb.len() {
-                    self.book(now, request, false);
-                    if let Some(session) = self.sessions.get_mut(&request) {
-                        (session.rung, session.region) = (rung, usize::from(rung));
-                    }
-                    self.book(now, request, true);
-                }
-            }
-            Note::Link(x) => {
-                self.servers.entry(id).and_modify(|s| s.gauge.measure(now, x, age));
-            }
-            Note::Uplink(x) => {
-                if let Some(server) = self.servers.get(&id) {
-                    self.uplinks[server.rack].measure(now, x, age);
-                }
+            Note::Rung(rung) if rung <= self.last_rung() => {
+                self.place(now, request, (usize::from(rung), rung))
             }
+            Note::Rung(_) => {}
+            Note::Link(x) => drop(self.servers.entry(id).and_modify(|s| s.gauge.measure(now, x, age))),
+            Note::Uplink(x) => self.uplinks[rack].measure(now, x, age),
             Note::Delivered(share) => self.delivered(now, id, share),
         }
         self.relieve(now, id, out);
@@ -454,10 +426,8 @@
     }
 
     fn mean_factor(&self) -> f64 {
-        let placed = self.sessions.values().filter(|s| s.server.is_some());
-        let factors: Vec<f64> =
-            placed.filter_map(|s| self.class(s.ask.class)).map(|c| c.rate_factor).collect();
-        factors.iter().sum::<f64>().max(f64::from(u8::from(factors.is_empty()))) / factors.len().max(1) as f64
+        let factors = self.mix.iter().filter_map(|(c, _)| self.class(*c)).map(|c| c.rate_factor);
+        factors.sum::<f64>().max(1e-3) / self.mix.len().max(1) as f64
     }
 
     /// What is asked of all links over what is asked of them for our own sessions: our part, turned over.
@@ -513,7 +483,8 @@
         let sessions = playing * self.scale(mean);
         let room: f64 =
             self.up().map(|s| s.gauge.gives * self.uplink_share(s.rack)).sum::<f64>() * PRICED_FILL;
-        let (mut low, mut high) = (0.0, self.top_price());
+        let dear = self.s.classes.iter().map(|c| c.worth / c.rate_factor.max(1e-6)).fold(0.0, f64::max);
+        let (mut low, mut high) = (0.0, dear / self.s.rung_kb.first().map_or(1.0, |kb| kb.max(1e-6)));
         for _ in 0..30 {
             self.price = 0.5 * (low + high);
             let kb: f64 = self.mix.iter().map(|&(c, top)| self.kb(c, self.priced(c, top))).sum();
@@ -523,11 +494,6 @@
         self.price = high;
     }
 
-    fn top_price(&self) -> f64 {
-        let worth = self.s.classes.iter().map(|c| c.worth / c.rate_factor.max(1e-6)).fold(0.0, f64::max);
-        worth / self.s.rung_kb.first().copied().unwrap_or(1.0).max(1e-6)
-    }
-
     /// The rung that earns a class most at the present price.
     fn priced(&self, class: u8, top: u8) -> u8 {
         let Some(c) = self.class(class) else { return 0 };
@@ -557,7 +523,8 @@
         let others = (link * server.gauge.gives - server.use_kb).max(0.0);
         let mix: f64 = self.servers.values().map(|s| s.use_kb).sum();
         if held.is_none() && server.use_kb > 0.0 {
-            let streams = f64::from(server.ours) * (1.0 + others / server.use_kb);
+            let streams = self.sessions.values().filter(|s| s.server == Some(id)).count() as f64
+                * (1.0 + others / server.use_kb);
             if streams + 1.0 > server.places {
                 return None;
             }
@@ -600,8 +567,8 @@
         let Some(server) = self.servers.get(&id) else { return false };
         let slow = (4.0 * self.setup).max(0.3 * SECOND as f64) as u64;
         let mut flights = self.sessions.values().filter(|s| s.server == Some(id) && !s.playing).peekable();
-        let trial = server.good < CLEARING && (!free || flights.peek().is_some());
-        let stuck = flights.any(|s| since(now, s.sent) > slow);
+        let trial = server.doubts > 0 && (!free || flights.peek().is_some());
+        let stuck = flights.any(|s| since(now, s.waiting) > slow);
         server.is.phase == Phase::Ready
             && now >= server.blocked
             && !stuck
@@ -666,10 +633,8 @@
             let held = (session.region, session.rung);
             let offer = self.offer(&session.ask, id, Some(held)).filter(|(_, rung)| *rung > held.1);
             let Some((region, rung)) = offer else { continue };
-            let left = match session.ask.hint {
-                Some(hint) => (hint as f64 - since(now, session.started) as f64) / SECOND as f64,
-                None => self.length(),
-            };
+            let watched = seconds(now, session.started);
+            let left = session.ask.hint.map_or(self.length(), |h| h as f64 / SECOND as f64 - watched);
             let gain = self.s.rung_worth[usize::from(rung)] - self.s.rung_worth[usize::from(held.1)];
             if gain * left > self.s.switch_seconds {
                 self.set_rung(now, request, (region, rung), RAISE_PAUSE, out);
@@ -677,16 +642,18 @@
         }
     }
 
-    fn set_rung(&mut self, now: Time, request: RequestId, at: (usize, u8), hold: u64, out: &mut Out) {
+    fn place(&mut self, now: Time, request: RequestId, at: (usize, u8)) {
         self.book(now, request, false);
-        if let Some(session) = self.sessions.get_mut(&request) {
-            (session.region, session.rung) = at;
-            (session.waiting, session.hold) = (now, after(now, hold));
-            out.push(Action::Rung { request, rung: at.1 });
-        }
+        self.sessions.entry(request).and_modify(|s| (s.region, s.rung) = at);
         self.book(now, request, true);
     }
 
+    fn set_rung(&mut self, now: Time, request: RequestId, at: (usize, u8), hold: u64, out: &mut Out) {
+        self.place(now, request, at);
+        self.sessions.entry(request).and_modify(|s| (s.waiting, s.hold) = (now, after(now, hold)));
+        out.push(Action::Rung { request, rung: at.1 });
+    }
+
     /// Departure: where a link or uplink is measured to be overrun, each front lowers its part of the excess.
     fn relieve(&mut self, now: Time, id: ServerId, out: &mut Out) {
         let mean = self.mean_fill();
@@ -728,19 +695,18 @@
     // ---- attempts, time-outs and refusals ----
 
     fn ask(&mut self, now: Time, ask: Ask, out: &mut Out) {
-        self.seen(&ask);
-        if self.sized.is_none() {
-            self.resize(now);
-            self.reprice();
-        }
-        self.taken.push_back(now);
-        self.arrive(&ask);
-        let over = self.over_share(now, ask.tenant);
         let request = ask.request;
+        self.taken.push_back(now);
         if self.sessions.contains_key(&request) {
             return;
         }
-        self.sessions.insert(request, Session::new(ask, now));
+        let over = self.over_share(now, ask.tenant);
+        self.arrive(&ask);
+        self.open(now, ask);
+        if self.sized.is_none() {
+            self.resize(now);
+            self.reprice();
+        }
         self.next(now, request, over, out);
     }
 
@@ -770,7 +736,7 @@
         let timeout = if class.effect == Effect::SingleShot { 0 } else { part.min(left) };
         session.attempts += 1;
         (session.server, session.region, session.rung) = (Some(id), region, rung);
-        (session.flying, session.sent, session.waiting) = (true, now, now);
+        (session.flying, session.waiting) = (true, now);
         session.tried.push(id);
         if session.attempts > 1 {
             self.extras.push_back(now);
@@ -782,20 +748,22 @@
         out.push(Action::Attempt { request, server: id, timeout });
     }
 
-    fn seen(&mut self, ask: &Ask) {
+    fn open(&mut self, now: Time, ask: Ask) {
         self.mix.push_front((ask.class, ask.top));
         self.mix.truncate(100);
+        let request = ask.request;
+        let session = Session { ask, waiting: now, hold: now, started: now, ..Session::default() };
+        self.sessions.insert(request, session);
     }
 
     fn adopted(&mut self, now: Time, ask: Ask, id: ServerId) {
-        self.seen(&ask);
         let request = ask.request;
         let floor = self.class(ask.class).map_or(0, |c| c.floor);
-        let mut session = Session::new(ask, now);
-        (session.server, session.rung, session.region) = (Some(id), floor, usize::from(floor));
-        (session.flying, session.playing, session.noted, session.attempts) = (true, true, true, 1);
-        session.ran = Some((id, now));
-        self.sessions.insert(request, session);
+        self.open(now, ask);
+        if let Some(session) = self.sessions.get_mut(&request) {
+            (session.server, session.rung, session.region) = (Some(id), floor, usize::from(floor));
+            (session.flying, session.playing, session.attempts) = (true, true, 1);
+        }
         self.book(now, request, true);
     }
 
@@ -805,7 +773,7 @@
             (session.playing, session.started) = (true, now);
         }
         if let Some(server) = self.servers.get_mut(&id) {
-            server.good = (server.good + 1).min(CLEARING);
+            server.doubts = server.doubts.saturating_sub(1);
             if server.broke {
                 server.broke = false;
                 server.cold_until = server.cold_until.max(after(now, self.s.cold));
@@ -834,7 +802,7 @@
         (session.flying, session.server) = (false, None);
         let never = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
         if !never && session.ran.is_none() {
-            session.ran = Some((id, session.sent));
+            session.ran = Some((id, session.waiting));
         }
         if session.playing || session.closed || closed || outcome == Outcome::Ok {
             if session.playing && outcome == Outcome::Ok {
@@ -899,9 +867,7 @@
     fn may_attempt(&mut self, now: Time, request: RequestId) -> bool {
         let window = now.0.saturating_sub(self.s.extra_window);
         for times in [&mut self.taken, &mut self.extras] {
-            while times.front().is_some_and(|t| t.0 < window) {
-                times.pop_front();
-            }
+            times.retain(|t| t.0 >= window);
         }
         let Some(session) = self.sessions.get(&request) else { return false };
         let Some(class) = self.class(session.ask.class) else { return false };
@@ -965,7 +931,7 @@
 impl Server {
     /// A failure: pause, longer each time; then trials by free classes until several succeed in a row.
     fn trouble(&mut self, now: Time) {
-        self.good = 0;
+        self.doubts = CLEARING;
         if now >= self.blocked {
             let calm = since(now, self.failed) > 2 * BLOCK.1;
             self.failed = now;
@@ -974,9 +940,3 @@
         }
     }
 }
-
-impl Session {
-    fn new(ask: Ask, now: Time) -> Session {
-        Session { ask, waiting: now, hold: now, started: now, sent: now, ..Session::default() }
-    }
-}
