--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,8 +1,8 @@
 //! Every decision of a front; its types, events and actions are in `src/interface.rs`.
 //!
-//! Each front splits every link into slot regions, one a rung, sized by a loss-queue model of the arrival rate;
-//! it admits from the top down with spill-over and raises lower sessions when slots free. Sections: beliefs about
-//! servers and links; regions; admission; raises; attempts, time-outs and refusals; guards.
+//! Each front splits every link into slot regions, one a rung, sized by a loss-queue model of the arrivals; it
+//! admits top-down with spill-over and raises lower sessions when slots free. Sections: beliefs about servers
+//! and links; regions; admission; raises; attempts, time-outs and refusals; guards.
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -156,8 +156,8 @@
     sum - penalty * spilled
 }
 
-/// The regions that earn most: slots for each rung (lowest first) whose rates fit `budget` and whose number fits
-/// `places`. A climb by single slots and swaps from each all-one-rung start, bounded in steps.
+/// The regions that earn most: slots for each rung (lowest first) whose rates fit `budget` and whose number
+/// fits `places`. A climb by trades of slots from each all-one-rung start, bounded in steps.
 pub fn best_regions(offered: f64, kb: &[f64], worth: &[f64], budget: f64, places: u32) -> Vec<u32> {
     let penalty = worth.first().copied().unwrap_or(0.0);
     let value = |n: &[u32]| benefit(offered, n, worth, penalty);
@@ -231,9 +231,7 @@
         if self.ticked.is_none() {
             self.ticked = Some(now);
             out.push(Action::Wake { at: after(now, SECOND), token: 0 });
-            if self.s.must_ask {
-                out.push(Action::Subscribe);
-            }
+            out.extend(self.s.must_ask.then_some(Action::Subscribe));
         }
         match event {
             Event::Roster(kind, entries) => self.roster(now, kind, entries, out),
@@ -255,10 +253,9 @@
 
     fn roster(&mut self, now: Time, kind: RosterKind, entries: Vec<Listing>, out: &mut Out) {
         if kind == RosterKind::Failed {
-            if self.s.must_ask && since(now, self.listed) > SECOND {
-                self.listed = now;
-                out.push(Action::Subscribe);
-            }
+            let again = self.s.must_ask && since(now, self.listed) > SECOND;
+            out.extend(again.then_some(Action::Subscribe));
+            self.listed = if again { now } else { self.listed };
             return;
         }
         self.listed = now;
@@ -308,11 +305,8 @@
         let heard = self.servers.values().filter(|s| s.is.phase != Phase::Gone && s.gauge.heard.is_some());
         let (n, sum) = heard.fold((0.0, 0.0), |(n, sum), s| (n + 1.0, sum + s.gauge.x));
         let own: f64 = self.servers.values().map(|s| s.use_kb).sum();
-        if n > 0.0 {
-            sum / n
-        } else {
-            own * f64::from(self.s.siblings) / self.s.fleet_kb.max(1.0)
-        }
+        let likely = own * f64::from(self.s.siblings) / self.s.fleet_kb.max(1.0);
+        Some(sum / n).filter(|_| n > 0.0).unwrap_or(likely)
     }
 
     /// Fill of a server's link: what was heard gives way to the mean as it ages, so that none is kept out by
@@ -321,17 +315,15 @@
         let now = self.ticked.unwrap_or_default();
         let own = server.use_kb / server.gauge.gives;
         let Some(heard) = server.gauge.heard else { return mean.max(own) };
-        let old = seconds(now, heard) - STALE;
-        let fresh = (-old.max(0.0) / STALE).exp();
+        let fresh = (-(seconds(now, heard) - STALE).max(0.0) / STALE).exp();
         (mean + fresh * (server.gauge.x - mean)).max(own)
     }
 
     fn uplink_fill(&self, rack: usize, mean: f64) -> f64 {
-        if self.uplinks[rack].heard.is_some() {
-            return self.uplinks[rack].x;
-        }
+        let uplink = &self.uplinks[rack];
         let up = self.servers.values().filter(|s| s.rack == rack && s.is.phase != Phase::Gone);
-        up.map(|s| self.fill(s, mean).min(1.2) * s.gauge.gives).sum::<f64>() / self.uplinks[rack].gives
+        let asked = up.map(|s| self.fill(s, mean).min(1.2) * s.gauge.gives).sum::<f64>();
+        uplink.heard.map_or(asked / uplink.gives, |_| uplink.x)
     }
 
     fn class(&self, class: u8) -> Option<&Class> {
@@ -349,8 +341,9 @@
 
     /// Books a session's rate at its server; viewers of a live title share a stream.
     fn book(&mut self, now: Time, request: RequestId, add: bool) {
-        let Some(session) = self.sessions.get(&request) else { return };
-        let Some(id) = session.server else { return };
+        let Some((session, id)) = self.sessions.get(&request).and_then(|s| Some((s, s.server?))) else {
+            return;
+        };
         let (class, rung, region) = (session.ask.class, session.rung, session.region);
         let mut kb = self.kb(class, rung);
         if self.class(class).is_some_and(|c| c.live) {
@@ -361,9 +354,7 @@
         let Some(server) = self.servers.get_mut(&id) else { return };
         let signed = if add { kb } else { -kb };
         server.use_kb = (server.use_kb + signed).max(0.0);
-        if let Some(kb) = server.region_kb.get_mut(region) {
-            *kb = (*kb + signed).max(0.0);
-        }
+        server.region_kb.iter_mut().skip(region).take(1).for_each(|kb| *kb = (*kb + signed).max(0.0));
         server.gauge.change(now, signed);
         self.uplinks[server.rack].change(now, signed);
     }
@@ -413,7 +404,7 @@
                 self.uplinks[rack].gives += 0.5 * (gives - self.uplinks[rack].gives);
             }
         } else if let Some(server) = self.servers.get_mut(&id).filter(|_| share < 0.75) {
-            // Danger: a server that hangs, or delivers too little for a cause of its own, still takes set-ups.
+            // Danger: a server that hangs or delivers too little for its own cause still takes set-ups.
             server.trouble(now);
         }
     }
@@ -522,44 +513,32 @@
         let (link, uplink) = (self.fill(server, mean), self.uplink_fill(server.rack, mean));
         let others = (link * server.gauge.gives - server.use_kb).max(0.0);
         let mix: f64 = self.servers.values().map(|s| s.use_kb).sum();
-        if held.is_none() && server.use_kb > 0.0 {
-            let streams = self.sessions.values().filter(|s| s.server == Some(id)).count() as f64
-                * (1.0 + others / server.use_kb);
-            if streams + 1.0 > server.places {
-                return None;
-            }
+        let ours = self.sessions.values().filter(|s| s.server == Some(id)).count() as f64;
+        let streams = ours * (1.0 + others / server.use_kb.max(1.0));
+        if top < class.floor || held.is_none() && streams + 1.0 > server.places {
+            return None;
         }
         let priced = self.priced(ask.class, top);
-        for region in (0..self.s.rung_kb.len()).rev() {
+        let fits = |kb: f64, mark: f64| {
+            let more = (kb - held_kb) * fair;
+            link + more / server.gauge.gives <= mark
+                && uplink + more / self.uplinks[server.rack].gives <= mark
+        };
+        let offered = (usize::from(class.floor)..self.s.rung_kb.len()).rev().find_map(|region| {
             let rung = top.min(region as u8);
-            if rung < class.floor {
-                break;
-            }
             let kb = self.kb(ask.class, rung);
-            let more = (kb - held_kb) * fair;
-            let fits = |mark: f64| {
-                link + more / server.gauge.gives <= mark
-                    && uplink + more / self.uplinks[server.rack].gives <= mark
-            };
-            if fits(LOW_MARK) && rung <= priced {
+            if fits(kb, LOW_MARK) && rung <= priced {
                 return Some((usize::from(rung), rung));
             }
-            if !fits(HEADROOM) {
-                continue;
-            }
             let spread = self.servers.values().map(|s| s.region_kb[region]).sum::<f64>() / mix.max(1.0);
-            let inside = held.is_some_and(|(r, _)| r == region);
-            let occupied = server.region_kb[region] + others * spread - if inside { held_kb } else { 0.0 };
-            let slot = self.s.rung_kb[region] * factor;
-            if occupied + kb <= (f64::from(server.slots[region]) + 0.5) * slot {
-                return Some((region, rung));
-            }
-        }
-        // Regions lag behind and rates are rough: while the link is measured to have room, the lowest rung goes.
-        let kb = self.kb(ask.class, class.floor);
-        let room = link + kb / server.gauge.gives <= HEADROOM
-            && uplink + kb / self.uplinks[server.rack].gives <= HEADROOM;
-        (held.is_none() && room && class.floor <= top).then_some((usize::from(class.floor), class.floor))
+            let inside = if held.is_some_and(|(r, _)| r == region) { held_kb } else { 0.0 };
+            let occupied = server.region_kb[region] + others * spread - inside;
+            let slots = (f64::from(server.slots[region]) + 0.5) * self.s.rung_kb[region] * factor;
+            (fits(kb, HEADROOM) && occupied + kb <= slots).then_some((region, rung))
+        });
+        // Regions lag and rates are rough: while the link is measured to have room, the lowest rung goes.
+        let room = held.is_none() && fits(self.kb(ask.class, class.floor), HEADROOM);
+        offered.or(room.then_some((usize::from(class.floor), class.floor)))
     }
 
     /// Whether a server may be sent a set-up now.
@@ -581,8 +560,7 @@
         let session = self.sessions.get(&request)?;
         let ask = session.ask.clone();
         let class = self.class(ask.class)?;
-        let free = class.effect == Effect::Free;
-        let floor = class.floor;
+        let (free, floor) = (class.effect == Effect::Free, class.floor);
         let mut ids = self.holders(&ask);
         ids.retain(|id| {
             let server = &self.servers[id];
@@ -593,24 +571,21 @@
             ids.swap(i, j);
         }
         let mean = self.mean_fill();
-        for pair in ids.chunks(2) {
+        ids.chunks(2).find_map(|pair| {
             let offers = pair.iter().filter_map(|id| {
                 let server = &self.servers[id];
                 let fill = self.fill(server, mean).max(self.uplink_fill(server.rack, mean));
                 let away = if server.is.zone != self.s.zone { self.s.cross_zone_price } else { 0.0 };
                 let (region, rung) = self.offer(&ask, *id, None)?;
                 match over_share {
-                    // Beyond its tenant's share a session is worth little: the lowest rung, and only where room is.
+                    // Beyond its tenant's share: the lowest rung, and only where room is.
                     true => (fill <= LOW_MARK).then_some((*id, usize::from(floor), floor, fill + away)),
                     false => Some((*id, region, rung, fill + away)),
                 }
             });
             let best = offers.min_by(|a, b| b.2.cmp(&a.2).then(a.3.total_cmp(&b.3)));
-            if let Some((id, region, rung, _)) = best {
-                return Some((id, region, rung));
-            }
-        }
-        None
+            best.map(|(id, region, rung, _)| (id, region, rung))
+        })
     }
 
     // ---- raises ----
@@ -675,18 +650,15 @@
             let lost = (self.s.rung_worth[lower + 1] - self.s.rung_worth[lower]) * class.worth;
             Some((lost / saved.max(1e-9), saved, *request))
         };
-        let mut lowered = Vec::new();
         while need > 0.0 {
             let steps = rungs.iter().filter_map(|(request, rung)| step(request, *rung));
             let Some((_, saved, request)) = steps.min_by(|a, b| a.0.total_cmp(&b.0)) else { break };
             need -= saved.max(1.0);
             rungs.entry(request).and_modify(|r| *r -= 1);
-            lowered.push(request);
         }
-        lowered.sort();
-        lowered.dedup();
-        for request in lowered {
-            self.set_rung(now, request, (usize::from(rungs[&request]), rungs[&request]), LOWER_PAUSE, out);
+        rungs.retain(|request, rung| self.sessions[request].rung != *rung);
+        for (request, rung) in rungs {
+            self.set_rung(now, request, (usize::from(rung), rung), LOWER_PAUSE, out);
         }
         let pause = self.s.note_delay.saturating_add(SECOND);
         self.servers.entry(id).and_modify(|s| s.next_relief = after(now, pause));
@@ -738,9 +710,7 @@
         (session.server, session.region, session.rung) = (Some(id), region, rung);
         (session.flying, session.waiting) = (true, now);
         session.tried.push(id);
-        if session.attempts > 1 {
-            self.extras.push_back(now);
-        }
+        self.extras.extend((session.attempts > 1).then_some(now));
         let interval = self.cold_interval(id);
         self.servers.entry(id).and_modify(|s| s.next_cold = after(now, interval));
         self.book(now, request, true);
@@ -805,9 +775,7 @@
             session.ran = Some((id, session.waiting));
         }
         if session.playing || session.closed || closed || outcome == Outcome::Ok {
-            if session.playing && outcome == Outcome::Ok {
-                self.ends += 1.0;
-            }
+            self.ends += f64::from(u8::from(session.playing && outcome == Outcome::Ok));
             let lost = session.playing && outcome == Outcome::Reset;
             if let Some(session) = self.sessions.remove(&request).filter(|_| lost) {
                 // A lost session's viewer comes again: its other holders count it as an arrival at once.
@@ -862,8 +830,8 @@
 
     // ---- guards ----
 
-    /// Whether a further attempt breaks nothing: one at a time, in time, within the caps, and never again for a
-    /// class set up once whose attempt may have run.
+    /// Whether a further attempt breaks nothing: one at a time, in time, within the caps, and never again for
+    /// a class set up once whose attempt may have run.
     fn may_attempt(&mut self, now: Time, request: RequestId) -> bool {
         let window = now.0.saturating_sub(self.s.extra_window);
         for times in [&mut self.taken, &mut self.extras] {
@@ -910,14 +878,11 @@
         let quota = self.s.tenant_quota.get(usize::from(tenant)).copied().unwrap_or(0.0);
         let rate = TENANT.0 * quota / f64::from(self.s.siblings.max(1));
         let Some((used, at)) = self.tenants.get_mut(usize::from(tenant)) else { return false };
-        let past = seconds(now, *at);
-        *used = (*used - rate * past).max(0.0);
+        *used = (*used - rate * seconds(now, *at)).max(0.0);
         *at = now;
-        if rate <= 0.0 || *used + 1.0 <= (rate * TENANT.1).max(1.0) {
-            *used += 1.0;
-            return false;
-        }
-        true
+        let within = rate <= 0.0 || *used + 1.0 <= (rate * TENANT.1).max(1.0);
+        *used += f64::from(u8::from(within));
+        !within
     }
 
     /// This front's least time between set-ups at a cold server, its warmth taken at the least.
