--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,8 +1,8 @@
 //! Every decision of a front; its types, events and actions are in `src/interface.rs`.
 //!
-//! Each front splits every link into slot regions, one a rung, sized by a loss-queue model of the arrivals; it
-//! admits top-down with spill-over and raises lower sessions when slots free. Sections: beliefs about servers
-//! and links; regions; admission; raises; attempts, time-outs and refusals; guards.
+//! Each front splits every link into slot regions, one a rung, sized by a loss-queue model of the arrivals;
+//! it admits top-down with spill-over and raises lower sessions when slots free. Sections: beliefs about
+//! servers and links; regions; admission; raises; attempts, time-outs and refusals; guards.
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -281,7 +281,7 @@
                 server.cold_until = cold_until.max(server.cold_until);
                 (server.broke, server.blocked) = (false, now);
                 let phase = f64::from(self.rng.rand_float());
-                server.next_cold = after(now, (phase * self.s.fall as f64) as u64);
+                server.next_cold = server.next_cold.max(after(now, (phase * self.s.fall as f64) as u64));
             }
             server.is = e;
         }
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,386 @@
+//! The six rules, each alone and all together over long odd sequences.
+mod common;
+use common::*;
+use crankpaddle::*;
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
+use std::collections::{BTreeMap, BTreeSet};
+
+#[test]
+fn what_is_given_up_is_answered_at_once_with_advice() {
+    let mut d = Drive::new(settings());
+    d.send(Event::Roster(RosterKind::Full, vec![]));
+    let out = d.ask(1, FREE);
+    assert!(out.contains(&Action::Reject { request: RequestId(1), stay_away: SECOND }), "{out:?}");
+    assert!(attempt(&d.ask(1, FREE)).is_none());
+}
+
+#[test]
+fn an_unknown_outcome_of_a_paid_set_up_fails_and_is_not_sent_again() {
+    for outcome in [Outcome::Error, Outcome::Timeout, Outcome::Reset, Outcome::Cancelled] {
+        let mut d = Drive::new(settings());
+        let server = attempt(&d.ask(1, PAID)).unwrap();
+        let out = d.end(1, server, outcome, false);
+        assert!(failed(&out) && attempt(&out).is_none() && !rejected(&out), "{outcome:?} {out:?}");
+    }
+}
+
+#[test]
+fn an_attempt_that_never_ran_is_sent_elsewhere() {
+    for outcome in [Outcome::Full, Outcome::ConnectFailed] {
+        let mut d = Drive::new(settings());
+        let server = attempt(&d.ask(1, PAID)).unwrap();
+        let next = attempt(&d.end(1, server, outcome, false)).unwrap();
+        assert_ne!(server, next);
+    }
+}
+
+#[test]
+fn a_guarded_class_is_repeated_in_its_zone_and_time_only() {
+    for wait in [0, 3 * SECOND] {
+        let mut d = Drive::new(settings());
+        let server = attempt(&d.ask(1, GUARDED)).unwrap();
+        d.wait(wait);
+        let out = d.end(1, server, Outcome::Error, false);
+        assert!(!rejected(&out));
+        match attempt(&out) {
+            Some(next) => assert!(wait == 0 && (next.0 % 2 == server.0 % 2)),
+            None => assert!(failed(&out)),
+        }
+    }
+}
+
+#[test]
+fn drains_bind_at_once() {
+    let mut d = Drive::new(settings());
+    let drained = [1, 2].map(|id| listing(id, Phase::Draining, Time(0))).to_vec();
+    d.send(Event::Roster(RosterKind::Delta, drained));
+    for request in 0..60 {
+        d.wait(100 * MS);
+        if let Some(server) = attempt(&d.ask(request * 6, FREE)) {
+            assert_eq!(server, ServerId(3));
+        }
+    }
+}
+
+#[test]
+fn a_server_missing_from_a_full_list_is_gone() {
+    let mut d = Drive::new(settings());
+    d.send(Event::Roster(RosterKind::Full, fleet().into_iter().filter(|l| l.server.0 != 3).collect()));
+    for request in 0..30 {
+        assert_ne!(attempt(&d.ask(request, FREE)), Some(ServerId(3)));
+    }
+}
+
+#[test]
+fn a_cold_server_is_sent_no_more_than_this_fronts_part() {
+    let mut d = Drive::new(settings());
+    let entries = vec![listing(1, Phase::Ready, d.now)];
+    d.send(Event::Roster(RosterKind::Full, entries));
+    let mut sent = 0;
+    for request in 0..300 {
+        d.wait(10 * MS);
+        sent += u32::from(attempt(&d.ask(request * 6, FREE)).is_some());
+    }
+    // 25 places over 10 s, 0.4 warm, times 2.5: 2.5 a second by both fronts together.
+    assert!((1..=4).contains(&sent), "{sent} in 3 s");
+}
+
+#[test]
+fn a_server_that_broke_under_us_is_cold_when_back() {
+    let mut d = Drive::new(settings());
+    d.send(Event::Roster(RosterKind::Full, vec![listing(1, Phase::Ready, Time(0))]));
+    let server = attempt(&d.ask(6, FREE)).unwrap();
+    d.end(6, server, Outcome::Reset, false);
+    d.wait(20 * SECOND);
+    let mut sent = 0;
+    for request in 2..300 {
+        d.wait(10 * MS);
+        if let Some(server) = attempt(&d.ask(request * 6, FREE)) {
+            sent += 1;
+            d.plays(request * 6, server);
+        }
+    }
+    assert!((1..=4).contains(&sent), "{sent} in 3 s");
+}
+
+#[test]
+fn seats_count_from_issue_to_the_end() {
+    let mut d = Drive::new(settings());
+    let one_title = |d: &mut Drive, request| {
+        let ask = Ask { title: 9, ..ask(request, PAID, d.now) };
+        d.send(Event::Ask(ask))
+    };
+    let first = attempt(&one_title(&mut d, 1)).unwrap();
+    for request in 2..=3 {
+        assert!(attempt(&one_title(&mut d, request)).is_some());
+    }
+    assert!(rejected(&one_title(&mut d, 4)));
+    d.plays(1, first);
+    assert!(rejected(&one_title(&mut d, 5)));
+    d.end(1, first, Outcome::Ok, true);
+    assert!(attempt(&one_title(&mut d, 6)).is_some());
+}
+
+#[test]
+fn rungs_stay_between_floor_and_the_lower_top() {
+    let mut d = Drive::new(settings());
+    for request in 0..40 {
+        let class = [FREE, PAID, GUARDED][(request % 3) as usize];
+        let top = 1 + (request % 4) as u8;
+        let out = d.send(Event::Ask(Ask { top, ..ask(request, class, d.now) }));
+        if let Some(rung) = rung(&out) {
+            assert!(rung <= top && (class != PAID || rung >= 1) && (class != GUARDED || rung <= 3));
+        }
+    }
+    let cannot = d.send(Event::Ask(Ask { top: 0, ..ask(99, PAID, d.now) }));
+    assert!(rejected(&cannot));
+}
+
+#[test]
+fn further_attempts_stay_within_the_allowance() {
+    let mut d = Drive::new(Settings { extra_floor: Some(2.0), extra_share: 0.1, ..settings() });
+    let mut extras = 0;
+    for request in 0..20 {
+        let mut out = d.ask(request, FREE);
+        let mut first = true;
+        while let Some(server) = attempt(&out) {
+            extras += u32::from(!first);
+            first = false;
+            out = d.end(request, server, Outcome::Full, false);
+        }
+    }
+    assert!((1..=4).contains(&extras), "{extras}");
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Wait(u64),
+    Ask(u8, u8),
+    Twice,
+    Plays(usize),
+    End(usize, u8),
+    Left(usize),
+    Note(usize, u8, f64),
+    List(u32, u8),
+    Full,
+    Failed,
+    Odd(u64),
+    Tick,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0u64..1500).prop_map(Step::Wait),
+        8 => (0u8..3, 0u8..6).prop_map(|(class, top)| Step::Ask(class, top)),
+        1 => Just(Step::Twice),
+        5 => (0usize..50).prop_map(Step::Plays),
+        6 => (0usize..50, 0u8..8).prop_map(|(i, o)| Step::End(i, o)),
+        1 => (0usize..50).prop_map(Step::Left),
+        4 => (0usize..50, 0u8..4, prop_oneof![Just(f64::NAN), Just(-1.0), 0.0..3.0f64])
+            .prop_map(|(i, k, v)| Step::Note(i, k, v)),
+        2 => (1u32..8, 0u8..4).prop_map(|(id, p)| Step::List(id, p)),
+        1 => Just(Step::Full),
+        1 => Just(Step::Failed),
+        1 => (0u64..99).prop_map(Step::Odd),
+        3 => Just(Step::Tick),
+    ]
+}
+
+const OUTCOMES: [Outcome; 8] = [
+    Outcome::Ok,
+    Outcome::Error,
+    Outcome::Full,
+    Outcome::Timeout,
+    Outcome::ConnectFailed,
+    Outcome::Reset,
+    Outcome::Cancelled,
+    Outcome::Moot,
+];
+
+#[derive(Default)]
+struct Watch {
+    open: BTreeMap<u64, (Ask, bool, u32)>, // request: ask, may have run, attempts
+    out: BTreeMap<u64, ServerId>,
+    playing: BTreeSet<u64>,
+    rungs: BTreeMap<u64, u8>,
+    phases: BTreeMap<u32, (Phase, u64)>,
+    asks: Vec<u64>,
+    extras: Vec<u64>,
+    cold: BTreeMap<u32, Vec<u64>>,
+    seats: BTreeMap<u64, (u8, u64)>,
+}
+
+impl Watch {
+    fn check(&mut self, now: Time, s: &Settings, actions: &[Action]) {
+        for action in actions {
+            match action {
+                Action::Attempt { request, server, .. } => {
+                    let id = request.0;
+                    let (ask, ran, attempts) = self.open.get_mut(&id).expect("attempt for a closed request");
+                    assert!(!self.out.contains_key(&id), "two attempts at once");
+                    assert!(!(ask.class == PAID && *ran), "a paid set-up twice");
+                    let (phase, since) = self.phases[&server.0];
+                    assert_eq!(phase, Phase::Ready);
+                    assert!((server.0 - 1 + 6 - ask.first_cell % 6) % 6 < ask.copies, "not a holder");
+                    assert!(self.rungs.get(&id).is_some_and(|r| *r <= ask.top));
+                    *attempts += 1;
+                    assert!(*attempts <= s.attempts_cap);
+                    if *attempts > 1 {
+                        self.extras.push(now.0);
+                        let from = now.0.saturating_sub(s.extra_window);
+                        let count = |v: &[u64]| v.iter().filter(|t| **t >= from).count() as f64;
+                        let allowed = s.extra_floor.unwrap() + s.extra_share * count(&self.asks);
+                        assert!(count(&self.extras) <= allowed, "beyond the allowance");
+                    }
+                    self.out.insert(id, *server);
+                    self.seats.insert(id, (ask.class, ask.title));
+                    let mine = (ask.class, ask.title);
+                    let cap = s.classes[usize::from(ask.class)].seats as usize;
+                    assert!(cap == 0 || self.seats.values().filter(|v| **v == mine).count() <= cap, "seats");
+                    if now.0 < since + s.cold {
+                        let sent = self.cold.entry(server.0).or_default();
+                        sent.push(now.0);
+                        let span = sent.iter().filter(|t| **t + s.fall > now.0).count() as f64;
+                        let pace = 25.0 / s.cold as f64 * s.cold_share * s.fall_multiple * s.fall as f64;
+                        assert!(span <= (pace / f64::from(s.siblings)).max(1.0), "a cold server is pushed");
+                    }
+                }
+                Action::Rung { request, rung } => {
+                    if let Some((ask, _, _)) = self.open.get(&request.0) {
+                        let class = &s.classes[usize::from(ask.class)];
+                        assert!(*rung >= class.floor && *rung <= ask.top.min(class.top));
+                    }
+                    self.rungs.insert(request.0, *rung);
+                }
+                Action::Reject { request, .. } => {
+                    let (ask, ran, _) = self.open.remove(&request.0).expect("a second answer");
+                    assert!(!self.out.contains_key(&request.0));
+                    assert!(ask.class == FREE || !ran, "rejected though it may have run");
+                }
+                Action::Fail(request) => {
+                    self.open.remove(&request.0).expect("a second answer");
+                }
+                Action::Wake { .. } | Action::Log(_) => {}
+                other => panic!("not allowed by the settings: {other:?}"),
+            }
+        }
+        for request in self.open.keys() {
+            assert!(self.out.contains_key(request), "request {request} is neither answered nor tried");
+        }
+    }
+}
+
+fn obey(steps: Vec<Step>) {
+    let s = Settings { extra_floor: Some(2.0), extra_share: 0.2, ..settings() };
+    let mut d = Drive::new(s.clone());
+    let mut w = Watch::default();
+    w.phases = fleet().iter().map(|l| (l.server.0, (l.phase, 0))).collect();
+    let mut next = 0;
+    for step in steps {
+        let pick = |i: usize, w: &Watch| {
+            let n = w.out.len().max(1);
+            w.out.iter().nth(i % n).map(|(r, s)| (*r, *s))
+        };
+        let actions = match step {
+            Step::Wait(ms) => {
+                d.wait(ms * MS);
+                vec![]
+            }
+            Step::Ask(class, top) => {
+                next += 1;
+                let ask = Ask { top, ..ask(next, class, d.now) };
+                w.open.insert(next, (ask.clone(), false, 0));
+                w.asks.push(d.now.0);
+                d.send(Event::Ask(ask))
+            }
+            Step::Twice => {
+                w.asks.push(d.now.0);
+                let again = w.out.keys().next().copied();
+                again.map_or(vec![], |request| d.ask(request, FREE))
+            }
+            Step::Plays(i) => match pick(i, &w) {
+                Some((request, server)) if w.open.contains_key(&request) => {
+                    w.open.remove(&request);
+                    w.playing.insert(request);
+                    d.plays(request, server)
+                }
+                _ => vec![],
+            },
+            Step::End(i, o) => match pick(i, &w) {
+                Some((request, server)) => {
+                    let outcome = OUTCOMES[usize::from(o)];
+                    let closed = !w.open.contains_key(&request) || outcome == Outcome::Ok;
+                    w.out.remove(&request);
+                    w.seats.remove(&request);
+                    w.playing.remove(&request);
+                    let never = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+                    if let Some(open) = w.open.get_mut(&request) {
+                        open.1 |= !never;
+                    }
+                    if closed {
+                        w.open.remove(&request);
+                    }
+                    d.end(request, server, outcome, closed)
+                }
+                None => vec![],
+            },
+            Step::Left(i) => match pick(i, &w) {
+                Some((request, _)) => {
+                    w.open.remove(&request);
+                    d.send(Event::Left(RequestId(request)))
+                }
+                None => vec![],
+            },
+            Step::Note(i, kind, v) => match pick(i, &w) {
+                Some((request, server)) => {
+                    let note = [Note::Delivered(v), Note::Link(v), Note::Uplink(v), Note::Delivered(v)];
+                    d.note(request, server, note[usize::from(kind)])
+                }
+                None => vec![],
+            },
+            Step::List(id, p) => {
+                let phase = [Phase::Ready, Phase::Draining, Phase::Gone, Phase::Ready][usize::from(p)];
+                let since = if p == 3 { d.now } else { Time(w.phases.get(&id).map_or(0, |v| v.1)) };
+                w.phases.insert(id, (phase, since.0));
+                d.send(Event::Roster(RosterKind::Delta, vec![listing(id, phase, since)]))
+            }
+            Step::Full => {
+                for (_, phase) in w.phases.iter_mut() {
+                    phase.0 = Phase::Gone;
+                }
+                let list: Vec<_> =
+                    (1..=6).map(|id| listing(id, Phase::Ready, Time(w.phases[&id].1))).collect();
+                for l in &list {
+                    w.phases.insert(l.server.0, (Phase::Ready, l.since.0));
+                }
+                d.send(Event::Roster(RosterKind::Full, list))
+            }
+            Step::Failed => d.send(Event::Roster(RosterKind::Failed, vec![])),
+            Step::Odd(n) => {
+                let (request, server) = (RequestId(1_000_000 + n), ServerId(900));
+                let mut all = d.send(Event::Left(request));
+                all.extend(d.end(request.0, server, Outcome::Ok, true));
+                all.extend(d.plays(request.0, server));
+                all.extend(d.note(request.0, server, Note::Rung(200)));
+                all
+            }
+            Step::Tick => d.send(Event::Timer(0)),
+        };
+        w.check(d.now, &s, &actions);
+    }
+}
+
+#[test]
+fn the_rules_hold_over_long_odd_sequences() {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let config = ProptestConfig { cases: 150, failure_persistence: None, ..ProptestConfig::default() };
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let done = runner.run(&proptest::collection::vec(step(), 50..400), |steps| {
+        obey(steps);
+        Ok(())
+    });
+    if let Err(error) = done {
+        panic!("{error}");
+    }
+}
