--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -274,8 +274,8 @@
 fn obey(steps: Vec<Step>) {
     let s = Settings { extra_floor: Some(2.0), extra_share: 0.2, ..settings() };
     let mut d = Drive::new(s.clone());
-    let mut w = Watch::default();
-    w.phases = fleet().iter().map(|l| (l.server.0, (l.phase, 0))).collect();
+    let phases = fleet().iter().map(|l| (l.server.0, (l.phase, 0))).collect();
+    let mut w = Watch { phases, ..Watch::default() };
     let mut next = 0;
     for step in steps {
         let pick = |i: usize, w: &Watch| {
