--- a/src/choice.rs
+++ b/src/choice.rs
@@ -321,7 +321,7 @@
 
     fn uplink_fill(&self, rack: usize, mean: f64) -> f64 {
         let uplink = &self.uplinks[rack];
-        let up = self.servers.values().filter(|s| s.rack == rack && s.is.phase != Phase::Gone);
+        let up = self.up().filter(|s| s.rack == rack);
         let asked = up.map(|s| self.fill(s, mean).min(1.2) * s.gauge.gives).sum::<f64>();
         uplink.heard.map_or(asked / uplink.gives, |_| uplink.x)
     }
@@ -467,19 +467,23 @@
         (self.uplinks[rack].gives / links.max(1.0)).min(1.0)
     }
 
-    /// The worth of a kB a second at which the sessions expected, each at its best rung, just fill the links.
+    /// The worth of a kB a second at which all sessions, each at its best rung, would just fill the links: what
+    /// is measured to be asked is taken to grow as our own rates would, so that rough rates cancel out.
     fn reprice(&mut self) {
         let mean = self.mean_fill();
-        let playing = self.sessions.values().filter(|s| s.server.is_some()).count() as f64;
-        let sessions = playing * self.scale(mean);
+        let racks = 0..self.uplinks.len();
+        let asked: f64 = racks.map(|rack| self.uplink_fill(rack, mean) * self.uplinks[rack].gives).sum();
         let room: f64 =
             self.up().map(|s| s.gauge.gives * self.uplink_share(s.rack)).sum::<f64>() * PRICED_FILL;
+        let own: f64 = self.servers.values().map(|s| s.use_kb).sum();
+        let placed = self.sessions.values().filter(|s| s.server.is_some());
+        let ours: Vec<(u8, u8)> = placed.map(|s| (s.ask.class, s.ask.top)).collect();
         let dear = self.s.classes.iter().map(|c| c.worth / c.rate_factor.max(1e-6)).fold(0.0, f64::max);
         let (mut low, mut high) = (0.0, dear / self.s.rung_kb.first().map_or(1.0, |kb| kb.max(1e-6)));
         for _ in 0..30 {
             self.price = 0.5 * (low + high);
-            let kb: f64 = self.mix.iter().map(|&(c, top)| self.kb(c, self.priced(c, top))).sum();
-            let over = kb / self.mix.len().max(1) as f64 * sessions > room;
+            let kb: f64 = ours.iter().map(|&(class, top)| self.kb(class, self.priced(class, top))).sum();
+            let over = kb * asked > room * own;
             (low, high) = if over { (self.price, high) } else { (low, self.price) };
         }
         self.price = high;
