--- a/src/interface.rs
+++ b/src/interface.rs
@@ -292,11 +292,17 @@
     },
     /// An attempt ended; `closed` tells that the request has its final answer.
     Ended {
+        /// The request.
         request: RequestId,
+        /// Number of the attempt, from 0.
         attempt: u8,
+        /// The server.
         server: ServerId,
+        /// How it ended.
         outcome: Outcome,
+        /// Whether the request has its final answer.
         closed: bool,
+        /// The load report that came with it.
         report: Report,
     },
     /// The viewer left; no answer is owed any more.
