--- a/src/choice.rs
+++ b/src/choice.rs
@@ -468,8 +468,8 @@
         (self.uplinks[rack].gives / links.max(1.0)).min(1.0)
     }
 
-    /// The worth of a kB a second at which all sessions, each at its best rung, would just fill the links: what
-    /// is measured to be asked is taken to grow as our own rates would, so that rough rates cancel out.
+    /// The worth of a kB at which all sessions, each at its best rung, would just fill the links: what is
+    /// measured to be asked is taken to grow as our own rates would, so that rough rates cancel out.
     fn reprice(&mut self) {
         let mean = self.mean_fill();
         let racks = 0..self.uplinks.len();
