--- a/src/choice.rs
+++ b/src/choice.rs
@@ -27,7 +27,6 @@
 /// First and longest pause of a server that failed us; successes in a row that clear it.
 const BLOCK: (u64, u64) = (SECOND, 8 * SECOND);
 const CLEARING: u32 = 3;
-const FULL_PAUSE: u64 = SECOND; // Pause of a server that turned us away as full.
 /// A tenant's rate over its share, and the seconds of it at once, that still count as within it.
 const TENANT: (f64, f64) = (1.15, 3.0);
 const COLD_PART: f64 = 0.6; // Part of the pace that may push over a cold server which the fronts use.
@@ -766,11 +765,7 @@
                 Outcome::Error | Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset => {
                     server.trouble(now)
                 }
-                Outcome::Full => {
-                    // Danger: places run out before links do, unseen by a front that sees its own sessions only.
-                    server.blocked = server.blocked.max(after(now, FULL_PAUSE));
-                    server.gauge.x = server.gauge.x.max(self.s.server_guard.min(1.0));
-                }
+                Outcome::Full => server.gauge.x = server.gauge.x.max(self.s.server_guard.min(1.0)),
                 _ => {}
             }
         }
