--- a/src/choice.rs
+++ b/src/choice.rs
@@ -611,8 +611,7 @@
         for (_, _, request) in waiting {
             let Some(session) = self.sessions.get(&request) else { continue };
             let held = (session.region, session.rung);
-            let best = self.priced(session.ask.class, session.ask.top);
-            let offer = self.offer(&session.ask, id, Some(held)).filter(|o| o.1 > held.1 && o.1 >= best);
+            let offer = self.offer(&session.ask, id, Some(held)).filter(|(_, rung)| *rung > held.1);
             let Some((region, rung)) = offer else { continue };
             let watched = seconds(now, session.started);
             let left = session.ask.hint.map_or(self.length(), |h| h as f64 / SECOND as f64 - watched);
