--- a/src/choice.rs
+++ b/src/choice.rs
@@ -524,6 +524,9 @@
             return None;
         }
         let priced = self.priced(ask.class, top);
+        // Danger: raises up to a rough or unreported limit, which relief then takes back at a price each.
+        let mark =
+            if held.is_some() && self.uplinks[server.rack].heard.is_none() { LOW_MARK } else { HEADROOM };
         let fits = |kb: f64, mark: f64| {
             let more = (kb - held_kb) * fair;
             link + more / server.gauge.gives <= mark
@@ -539,7 +542,7 @@
             let inside = if held.is_some_and(|(r, _)| r == region) { held_kb } else { 0.0 };
             let occupied = server.region_kb[region] + others * spread - inside;
             let slots = (f64::from(server.slots[region]) + 0.5) * self.s.rung_kb[region] * factor;
-            (fits(kb, HEADROOM) && occupied + kb <= slots).then_some((region, rung))
+            (fits(kb, mark) && occupied + kb <= slots).then_some((region, rung))
         });
         // Regions lag and rates are rough: while the link is measured to have room, the lowest rung goes.
         let room = held.is_none() && fits(self.kb(ask.class, class.floor), HEADROOM);
