--- a/src/choice.rs
+++ b/src/choice.rs
@@ -525,8 +525,8 @@
         }
         let priced = self.priced(ask.class, top);
         // Danger: raises up to a rough or unreported limit, which relief then takes back at a price each.
-        let mark =
-            if held.is_some() && self.uplinks[server.rack].heard.is_none() { LOW_MARK } else { HEADROOM };
+        let told = self.uplinks[server.rack].heard.is_some();
+        let mark = if held.is_some() && !told { LOW_MARK } else { HEADROOM };
         let fits = |kb: f64, mark: f64| {
             let more = (kb - held_kb) * fair;
             link + more / server.gauge.gives <= mark
