--- a/src/choice.rs
+++ b/src/choice.rs
@@ -267,11 +267,10 @@
             }
         }
         for e in entries {
-            let rungs = self.s.rung_kb.len();
             let weight = if e.weight.is_finite() && e.weight > 0.0 { e.weight } else { 1.0 };
             let server = self.servers.entry(e.server).or_default();
-            server.region_kb.resize(rungs, 0.0);
-            server.slots.resize(rungs, 0);
+            server.region_kb.resize(self.s.rung_kb.len(), 0.0);
+            server.slots.resize(self.s.rung_kb.len(), 0);
             let restarted = e.since > server.is.since;
             server.rack = usize::from(e.cell) % self.uplinks.len();
             server.gauge.gives = (self.s.link_kb * weight).max(1.0);
@@ -391,8 +390,7 @@
         let unlike_link = |s: &Server| {
             s.short.is_some_and(|(v, began, at)| {
                 let told = s.gauge.heard.is_some_and(|t| t > began);
-                let now = since(now, at) < 2 * SECOND;
-                told && now && (v - share).abs() < 0.1 && s.gauge.x * v < 0.93
+                told && since(now, at) < 2 * SECOND && (v - share).abs() < 0.1 && s.gauge.x * v < 0.93
             })
         };
         if !unlike_link(server) {
@@ -472,8 +470,8 @@
     /// measured to be asked is taken to grow as our own rates would, so that rough rates cancel out.
     fn reprice(&mut self) {
         let mean = self.mean_fill();
-        let racks = 0..self.uplinks.len();
-        let asked: f64 = racks.map(|rack| self.uplink_fill(rack, mean) * self.uplinks[rack].gives).sum();
+        let asked: f64 =
+            (0..self.uplinks.len()).map(|rack| self.uplink_fill(rack, mean) * self.uplinks[rack].gives).sum();
         let room: f64 =
             self.up().map(|s| s.gauge.gives * self.uplink_share(s.rack)).sum::<f64>() * PRICED_FILL;
         let own: f64 = self.servers.values().map(|s| s.use_kb).sum();
