--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -57,7 +57,9 @@
     }
     d.note(n * 6, ServerId(1), Note::Link(0.3));
     changes.extend(rung_changes(&tick(&mut d, 20)));
-    assert!(!changes.is_empty());
+    let from: std::collections::BTreeSet<_> =
+        changes.iter().map(|(r, _)| rungs[(r / 6 - 1) as usize]).collect();
+    assert!(from.len() >= 2, "no ripple over several rungs: {changes:?} of {rungs:?}");
     let mut seen = std::collections::BTreeSet::new();
     for (request, rung) in changes {
         assert!(seen.insert(request), "{request} raised twice in 21 s");
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -122,6 +122,31 @@
     assert!(attempt(&one_title(&mut d, 6)).is_some());
 }
 
+#[test]
+fn adopted_sessions_hold_seats_until_they_end() {
+    let mut d = Drive::new(settings());
+    for n in 1..=3 {
+        let ask = Ask { title: 9, ..ask(n, PAID, d.now) };
+        d.send(Event::Adopted(ask, ServerId(2)));
+    }
+    let one_more = |d: &mut Drive, n| {
+        let ask = Ask { title: 9, ..ask(n, PAID, d.now) };
+        d.send(Event::Ask(ask))
+    };
+    assert!(rejected(&one_more(&mut d, 4)));
+    d.end(2, ServerId(2), Outcome::Ok, true);
+    assert!(attempt(&one_more(&mut d, 5)).is_some());
+}
+
+#[test]
+fn a_viewer_who_left_is_not_tried_again() {
+    let mut d = Drive::new(settings());
+    let server = attempt(&d.ask(1, FREE)).unwrap();
+    assert!(d.send(Event::Left(RequestId(1))).is_empty());
+    let out = d.end(1, server, Outcome::Full, true);
+    assert!(attempt(&out).is_none() && !rejected(&out) && !failed(&out), "{out:?}");
+}
+
 #[test]
 fn rungs_stay_between_floor_and_the_lower_top() {
     let mut d = Drive::new(settings());
@@ -277,6 +302,16 @@
     let phases = fleet().iter().map(|l| (l.server.0, (l.phase, 0))).collect();
     let mut w = Watch { phases, ..Watch::default() };
     let mut next = 0;
+    for n in 500..503 {
+        // Sessions under way at the start hold their seats and end like others.
+        let ask = Ask { title: 2, ..ask(n, PAID, d.now) };
+        w.out.insert(n, ServerId(3));
+        w.playing.insert(n);
+        w.seats.insert(n, (PAID, 2));
+        let actions = d.send(Event::Adopted(ask, ServerId(3)));
+        w.check(d.now, &s, &actions);
+        d.note(n, ServerId(3), Note::Rung(2));
+    }
     for step in steps {
         let pick = |i: usize, w: &Watch| {
             let n = w.out.len().max(1);
