--- a/src/choice.rs
+++ b/src/choice.rs
@@ -18,7 +18,7 @@
 const UPLINK_LEAST: f64 = 0.4; // Least part of the mean uplink that short deliveries may make us believe in.
 const RESIZE: u64 = 10 * SECOND; // Regions are sized anew, and arrivals counted, over this time.
 const RAISE_PAUSE: u64 = 30 * SECOND; // A session is raised once in this time at most.
-const LOWER_PAUSE: u64 = 6 * SECOND; // A lowered session is raised no sooner.
+const LOWER_PAUSE: u64 = 12 * SECOND; // A lowered session is raised no sooner.
 /// Measured ask over give beyond which playing sessions are lowered, and what they are lowered to.
 const OVERRUN: (f64, f64) = (1.03, 0.95);
 const TRUST: f64 = 0.8; // Weight of a new measurement against what was believed.
