No event scans the fleet: sums once a second, links sized when looked at, equal links once

Now sums over servers are taken each second and kept up by bookings and measurements; a link is sized when a request or a raise looks at it and its last sizing is 10 s old; links alike within 20% of arrivals and 5% of room share a sizing. Arrivals are forgotten more slowly the fewer there are, a server's own count weighs as the mean once one arrival is expected.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,7 +4,7 @@
 //! it admits top-down with spill-over and raises lower sessions when slots free. Sections: beliefs about
 //! servers and links; regions; admission; raises; attempts, time-outs and refusals; guards.
 use crate::interface::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 type Out = Vec<Action>;
 
@@ -16,7 +16,11 @@
 const SCALE: (f64, f64) = (0.7, 1.4);
 const STALE: f64 = 6.0; // Seconds after which a measurement begins to give way to the mean.
 const UPLINK_LEAST: f64 = 0.4; // Least part of the mean uplink that short deliveries may make us believe in.
-const RESIZE: u64 = 10 * SECOND; // Regions are sized anew, and arrivals counted, over this time.
+const RESIZE: u64 = 10 * SECOND; // Regions are sized anew after this time.
+/// Arrivals are counted over this time, or over what so many arrivals take.
+const COUNTED: (f64, f64) = (15.0, 10.0);
+/// Steps, as parts, within which links count as equal when they are sized: arrivals, room.
+const ALIKE: (f64, f64) = (0.2, 0.05);
 const RAISE_PAUSE: u64 = 30 * SECOND; // A session is raised once in this time at most.
 const LOWER_PAUSE: u64 = 12 * SECOND; // A lowered session is raised no sooner.
 /// Measured ask over give beyond which playing sessions are lowered, and what they are lowered to.
@@ -70,9 +74,10 @@
     gauge: Gauge,
     use_kb: f64, // Our sessions' rates, in all and by region, and their number.
     region_kb: Vec<f64>,
-    slots: Vec<u32>, // Slots of each region, and arrivals counted since they were last sized.
-    arrivals: f64,
-    rate: f64,
+    here: BTreeSet<RequestId>,
+    slots: Vec<u32>,
+    sized: Option<Time>,
+    arrivals: f64, // Its part of late requests.
     blocked: Time,
     block: u64,
     doubts: u32,
@@ -84,6 +89,26 @@
     next_relief: Time,
 }
 
+/// A rack's uplink, and sums over its servers.
+#[derive(Clone, Default)]
+struct Rack {
+    uplink: Gauge,
+    links: f64,
+    asked: f64,
+    short: bool,
+}
+
+/// Sums over all servers, taken each second and kept up in between, so that no event scans the fleet.
+#[derive(Default)]
+struct Sums {
+    mean: f64, // Fill of the servers heard; before any was, what our own sessions make likely.
+    up: f64,
+    scale: f64, // What is asked of all links over what our own sessions ask: our part, turned over.
+    factor: f64,
+    own_kb: f64,
+    own_region_kb: Vec<f64>,
+}
+
 #[derive(Default)]
 struct Session {
     ask: Ask,
@@ -107,7 +132,8 @@
     rng: oorandom::Rand32,
     servers: BTreeMap<ServerId, Server>,
     sessions: BTreeMap<RequestId, Session>,
-    uplinks: Vec<Gauge>,
+    racks: Vec<Rack>,
+    cells: BTreeMap<u16, BTreeSet<ServerId>>,
     tenants: Vec<(f64, Time)>,
     taken: VecDeque<Time>,
     extras: VecDeque<Time>,
@@ -115,11 +141,13 @@
     seconds: f64,
     setup: f64,
     ticked: Option<Time>,
-    sized: Option<Time>,
     listed: Time,
-    /// Classes and best rungs of late requests, and what a kB a second is worth to them.
-    mix: VecDeque<(u8, u8)>,
-    price: f64,
+    sums: Sums,
+    /// Late requests, and the seconds they came in.
+    arrivals: (f64, f64),
+    sizes: BTreeMap<(i32, i32, u32), Vec<u32>>,
+    mix: VecDeque<u8>, // Classes of late requests.
+    price: f64,        // What a kB a second is worth to our sessions.
 }
 
 fn after(t: Time, d: u64) -> Time {
@@ -201,7 +229,8 @@
 impl Front {
     /// A front that has heard nothing yet.
     pub fn new(settings: Settings, seed: u64, now: Time) -> Front {
-        let racks = settings.racks.max(1) as usize;
+        let uplink = Gauge { gives: settings.uplink_kb.max(1.0), ..Gauge::default() };
+        let rack = Rack { uplink, ..Rack::default() };
         let mut settings = settings;
         let rungs = settings.rung_kb.len().min(settings.rung_worth.len()).min(256);
         settings.rung_kb.truncate(rungs);
@@ -210,7 +239,8 @@
             rng: oorandom::Rand32::new(seed),
             servers: BTreeMap::new(),
             sessions: BTreeMap::new(),
-            uplinks: vec![Gauge { gives: settings.uplink_kb.max(1.0), ..Gauge::default() }; racks],
+            racks: vec![rack; settings.racks.max(1) as usize],
+            cells: BTreeMap::new(),
             tenants: settings.tenant_quota.iter().map(|_| (0.0, now)).collect(),
             taken: VecDeque::new(),
             extras: VecDeque::new(),
@@ -218,8 +248,10 @@
             seconds: FIRST_LENGTH.0 * FIRST_LENGTH.1,
             setup: 0.15 * SECOND as f64,
             ticked: None,
-            sized: None,
             listed: now,
+            sums: Sums::default(),
+            arrivals: (0.0, 0.0),
+            sizes: BTreeMap::new(),
             mix: VecDeque::new(),
             price: 0.0,
             s: settings,
@@ -253,26 +285,24 @@
 
     fn roster(&mut self, now: Time, kind: RosterKind, entries: Vec<Listing>, out: &mut Out) {
         if kind == RosterKind::Failed {
-            let again = self.s.must_ask && since(now, self.listed) > SECOND;
-            out.extend(again.then_some(Action::Subscribe));
-            self.listed = if again { now } else { self.listed };
+            if self.s.must_ask && since(now, self.listed) > SECOND {
+                self.listed = now;
+                out.push(Action::Subscribe);
+            }
             return;
         }
         self.listed = now;
         if kind != RosterKind::Delta {
-            for (id, server) in self.servers.iter_mut() {
-                if !entries.iter().any(|e| e.server == *id) {
-                    server.is.phase = Phase::Gone;
-                }
+            let listed: BTreeSet<ServerId> = entries.iter().map(|e| e.server).collect();
+            for (_, server) in self.servers.iter_mut().filter(|(id, _)| !listed.contains(id)) {
+                server.is.phase = Phase::Gone;
             }
         }
         for e in entries {
             let weight = if e.weight.is_finite() && e.weight > 0.0 { e.weight } else { 1.0 };
             let server = self.servers.entry(e.server).or_default();
-            server.region_kb.resize(self.s.rung_kb.len(), 0.0);
-            server.slots.resize(self.s.rung_kb.len(), 0);
             let restarted = e.since > server.is.since;
-            server.rack = usize::from(e.cell) % self.uplinks.len();
+            server.rack = usize::from(e.cell) % self.racks.len();
             server.gauge.gives = (self.s.link_kb * weight).max(1.0);
             server.places = self.s.places.get(usize::from(e.kind)).map_or(f64::INFINITY, |p| f64::from(*p));
             let cold_until = after(e.since, self.s.cold);
@@ -282,48 +312,89 @@
                 let phase = f64::from(self.rng.rand_float());
                 server.next_cold = server.next_cold.max(after(now, (phase * self.s.fall as f64) as u64));
             }
+            self.cells.entry(server.is.cell).or_default().remove(&e.server);
+            self.cells.entry(e.cell).or_default().insert(e.server);
+            server.region_kb.resize(self.s.rung_kb.len(), 0.0);
+            server.slots.resize(self.s.rung_kb.len(), 0);
             server.is = e;
         }
+        self.survey(now);
     }
 
-    fn report(&mut self, now: Time, id: ServerId, report: &Report) {
+    /// A measurement of a server's link.
+    fn measured(&mut self, now: Time, id: ServerId, value: f64, age: u64) {
+        let Some(server) = self.servers.get(&id) else { return };
+        let before = self.fill(server);
         let Some(server) = self.servers.get_mut(&id) else { return };
+        server.gauge.measure(now, value, age);
+        self.racks[server.rack].asked += (server.gauge.x.min(1.2) - before.min(1.2)) * server.gauge.gives;
+    }
+
+    fn report(&mut self, now: Time, id: ServerId, report: &Report) {
+        let Some(rack) = self.servers.get(&id).map(|s| s.rack) else { return };
         for &(field, value) in report {
             match field {
-                LoadField::LinkAsked => server.gauge.measure(now, value, SECOND / 3),
-                LoadField::LinkUtil if value < 0.97 => server.gauge.measure(now, value, SECOND / 3),
-                LoadField::LinkUtil => server.gauge.x = server.gauge.x.max(1.0),
-                LoadField::UplinkAsked => self.uplinks[server.rack].measure(now, value, SECOND / 3),
+                LoadField::LinkAsked => self.measured(now, id, value, SECOND / 3),
+                LoadField::LinkUtil if value < 0.97 => self.measured(now, id, value, SECOND / 3),
+                LoadField::LinkUtil => self.servers.entry(id).or_default().full(1.0),
+                LoadField::UplinkAsked => self.racks[rack].uplink.measure(now, value, SECOND / 3),
                 _ => {}
             }
         }
     }
 
-    /// Mean fill of the servers that were heard; before any was, what our own sessions make likely.
-    fn mean_fill(&self) -> f64 {
+    fn survey(&mut self, now: Time) {
+        let siblings = f64::from(self.s.siblings.max(1));
+        let factors = self.mix.iter().filter_map(|c| self.class(*c)).map(|c| c.rate_factor);
+        let factor = factors.sum::<f64>().max(1e-3) / self.mix.len().max(1) as f64;
+        let own_region_kb = vec![0.0; self.s.rung_kb.len()];
+        self.sums = Sums { factor, own_region_kb, ..Sums::default() };
+        for server in self.servers.values_mut() {
+            server.short = server.short.filter(|s| since(now, s.2) < 3 * SECOND);
+            self.sums.own_kb += server.use_kb;
+            self.sums.own_region_kb.iter_mut().zip(&server.region_kb).for_each(|(sum, kb)| *sum += kb);
+        }
         let heard = self.servers.values().filter(|s| s.is.phase != Phase::Gone && s.gauge.heard.is_some());
         let (n, sum) = heard.fold((0.0, 0.0), |(n, sum), s| (n + 1.0, sum + s.gauge.x));
-        let own: f64 = self.servers.values().map(|s| s.use_kb).sum();
-        let likely = own * f64::from(self.s.siblings) / self.s.fleet_kb.max(1.0);
-        Some(sum / n).filter(|_| n > 0.0).unwrap_or(likely)
+        let likely = self.sums.own_kb * siblings / self.s.fleet_kb.max(1.0);
+        self.sums.mean = if n > 0.0 { sum / n } else { likely };
+        for rack in &mut self.racks {
+            (rack.links, rack.asked, rack.short) = (0.0, 0.0, false);
+        }
+        for server in self.servers.values() {
+            let asked = self.fill(server).min(1.2) * server.gauge.gives;
+            let rack = &mut self.racks[server.rack];
+            rack.short |= server.short.is_some();
+            if server.is_up() {
+                self.sums.up += 1.0;
+                rack.links += server.gauge.gives;
+                rack.asked += asked;
+            }
+        }
+        let all: f64 = self.racks.iter().map(|r| r.asked).sum();
+        let seen = if self.sums.own_kb > 0.0 { all / self.sums.own_kb } else { siblings };
+        self.sums.scale = seen.clamp(SCALE.0 * siblings, SCALE.1 * siblings).max(1.0);
     }
 
     /// Fill of a server's link: what was heard gives way to the mean as it ages, so that none is kept out by
     /// old news.
-    fn fill(&self, server: &Server, mean: f64) -> f64 {
+    fn fill(&self, server: &Server) -> f64 {
         let now = self.ticked.unwrap_or_default();
         let own = server.use_kb / server.gauge.gives;
-        let mean = mean.min(LOW_MARK); // Unheard servers must be tried to be heard.
+        let mean = self.sums.mean.min(LOW_MARK); // Unheard servers must be tried to be heard.
         let Some(heard) = server.gauge.heard else { return mean.max(own) };
-        let fresh = (-(seconds(now, heard) - STALE).max(0.0) / STALE).exp();
+        let old = (seconds(now, heard) - STALE).max(0.0) / STALE;
+        let fresh = if old > 0.0 { (-old).exp() } else { 1.0 };
         (mean + fresh * (server.gauge.x - mean)).max(own)
     }
 
-    fn uplink_fill(&self, rack: usize, mean: f64) -> f64 {
-        let uplink = &self.uplinks[rack];
-        let up = self.up().filter(|s| s.rack == rack);
-        let asked = up.map(|s| self.fill(s, mean).min(1.2) * s.gauge.gives).sum::<f64>();
-        uplink.heard.map_or(asked / uplink.gives, |_| uplink.x)
+    fn uplink_fill(&self, rack: usize) -> f64 {
+        let rack = &self.racks[rack];
+        rack.uplink.heard.map_or(rack.asked.max(0.0) / rack.uplink.gives, |_| rack.uplink.x)
+    }
+
+    fn here<'a>(&'a self, server: &'a Server) -> impl Iterator<Item = (RequestId, &'a Session)> + 'a {
+        server.here.iter().filter_map(|r| Some((*r, self.sessions.get(r)?)))
     }
 
     fn class(&self, class: u8) -> Option<&Class> {
@@ -347,16 +418,22 @@
         let (class, rung, region) = (session.ask.class, session.rung, session.region);
         let mut kb = self.kb(class, rung);
         if self.class(class).is_some_and(|c| c.live) {
-            let like = |s: &Session| (s.server, s.ask.title, s.ask.class, s.rung);
-            let mut others = self.sessions.iter().filter(|(r, _)| **r != request);
-            kb *= if others.any(|(_, s)| like(s) == like(session)) { self.s.join } else { 1.0 };
+            let like = |s: &Session| (s.ask.title, s.ask.class, s.rung);
+            let mut others =
+                self.servers.get(&id).into_iter().flat_map(|s| &s.here).filter(|r| **r != request);
+            kb *= if others.any(|r| like(&self.sessions[r]) == like(session)) { self.s.join } else { 1.0 };
         }
         let Some(server) = self.servers.get_mut(&id) else { return };
         let signed = if add { kb } else { -kb };
         server.use_kb = (server.use_kb + signed).max(0.0);
-        server.region_kb.iter_mut().skip(region).take(1).for_each(|kb| *kb = (*kb + signed).max(0.0));
+        self.sums.own_kb = (self.sums.own_kb + signed).max(0.0);
+        for regions in [&mut server.region_kb, &mut self.sums.own_region_kb] {
+            regions.iter_mut().skip(region).take(1).for_each(|kb| *kb = (*kb + signed).max(0.0));
+        }
+        let _ = if add { server.here.insert(request) } else { server.here.remove(&request) };
         server.gauge.change(now, signed);
-        self.uplinks[server.rack].change(now, signed);
+        self.racks[server.rack].uplink.change(now, signed);
+        self.racks[server.rack].asked += signed;
     }
 
     fn note(&mut self, now: Time, request: RequestId, id: ServerId, note: Note, out: &mut Out) {
@@ -365,12 +442,12 @@
         let age = if fresh { 0 } else { self.s.note_delay };
         let rack = self.servers.get(&id).map_or(0, |s| s.rack);
         match note {
-            Note::Rung(rung) if rung <= self.last_rung() => {
-                self.place(now, request, (usize::from(rung), rung))
+            Note::Rung(rung) => {
+                let rung = rung.min(self.last_rung());
+                self.place(now, request, (usize::from(rung), rung));
             }
-            Note::Rung(_) => {}
-            Note::Link(x) => drop(self.servers.entry(id).and_modify(|s| s.gauge.measure(now, x, age))),
-            Note::Uplink(x) => self.uplinks[rack].measure(now, x, age),
+            Note::Link(x) => self.measured(now, id, x, age),
+            Note::Uplink(x) => self.racks[rack].uplink.measure(now, x, age),
             Note::Delivered(share) => self.delivered(now, id, share),
         }
         self.relieve(now, id, out);
@@ -379,7 +456,6 @@
     /// What a short delivery is laid to, once a note of the link has come since it began: the link if that is
     /// asked too much, the uplink if another server of the rack falls short alike, else the server itself.
     fn delivered(&mut self, now: Time, id: ServerId, share: f64) {
-        let mean = self.mean_fill();
         let Some(server) = self.servers.get_mut(&id) else { return };
         let began = server.short.filter(|s| since(now, s.2) < 3 * SECOND).map_or(now, |s| s.1);
         server.short = (share < 0.98).then_some((share, began, now));
@@ -395,13 +471,11 @@
         };
         if !unlike_link(server) {
             server.gauge.x = server.gauge.x.max(1.0 / share.max(0.3));
-        } else if self.servers.iter().any(|(i, s)| *i != id && s.rack == rack && unlike_link(s)) {
-            if self.uplinks[rack].heard.is_none() {
-                // Without reports of the uplink, what it gives is learnt from what it fails to deliver.
-                let asked = self.uplink_fill(rack, mean) * self.uplinks[rack].gives;
-                let gives = (asked * share).max(UPLINK_LEAST * self.s.uplink_kb).max(1.0);
-                self.uplinks[rack].gives += 0.5 * (gives - self.uplinks[rack].gives);
-            }
+        } else if self.rack_mates(rack).any(|i| i != id && unlike_link(&self.servers[&i])) {
+            // Without reports of the uplink, what it gives is learnt from what it fails to deliver.
+            let gives = (self.racks[rack].asked * share).max(UPLINK_LEAST * self.s.uplink_kb).max(1.0);
+            let uplink = &mut self.racks[rack].uplink;
+            uplink.gives += if uplink.heard.is_none() { 0.5 * (gives - uplink.gives) } else { 0.0 };
         } else if let Some(server) = self.servers.get_mut(&id).filter(|_| share < 0.75) {
             // Danger: a server that hangs or delivers too little for its own cause still takes set-ups.
             server.trouble(now);
@@ -415,66 +489,40 @@
         self.seconds / self.ends.max(1.0)
     }
 
-    fn mean_factor(&self) -> f64 {
-        let factors = self.mix.iter().filter_map(|(c, _)| self.class(*c)).map(|c| c.rate_factor);
-        factors.sum::<f64>().max(1e-3) / self.mix.len().max(1) as f64
+    fn rack_mates(&self, rack: usize) -> impl Iterator<Item = ServerId> + '_ {
+        let here = move |cell: u16| usize::from(cell) % self.racks.len() == rack;
+        self.cells.iter().filter(move |(c, _)| here(**c)).flat_map(|(_, ids)| ids).copied()
     }
 
-    /// What is asked of all links over what is asked of them for our own sessions: our part, turned over.
-    fn scale(&self, mean: f64) -> f64 {
-        let siblings = f64::from(self.s.siblings.max(1));
-        let own: f64 = self.servers.values().map(|s| s.use_kb).sum();
-        let all: f64 = self.up().map(|s| self.fill(s, mean) * s.gauge.gives).sum();
-        let seen = if own > 0.0 { all / own } else { siblings };
-        seen.clamp(SCALE.0 * siblings, SCALE.1 * siblings).max(1.0)
-    }
-
-    fn up(&self) -> impl Iterator<Item = &Server> {
-        self.servers.values().filter(|s| s.is.phase == Phase::Ready && !s.broke)
-    }
-
-    /// Sizes every link's regions for the arrivals counted since they were last sized.
-    fn resize(&mut self, now: Time) {
-        let mean = self.mean_fill();
-        let (scale, factor, length) = (self.scale(mean), self.mean_factor(), self.length());
-        let n = self.up().count().max(1) as f64;
-        let kb: Vec<f64> = self.s.rung_kb.iter().map(|k| k * factor).collect();
-        let past = self.sized.map(|t| seconds(now, t));
-        let sessions = self.sessions.values().filter(|s| s.server.is_some()).count() as f64;
-        let total: f64 = self.up().map(|s| s.arrivals).sum();
-        let shares: Vec<f64> = (0..self.uplinks.len()).map(|rack| self.uplink_share(rack)).collect();
-        for server in self.servers.values_mut() {
-            let offered = match past {
-                None => sessions / n * scale,
-                Some(past) => {
-                    let fresh = 0.5 * (server.arrivals + total / n) / past.max(1.0);
-                    server.rate = if server.rate > 0.0 { 0.5 * (server.rate + fresh) } else { fresh };
-                    server.rate * scale * length
-                }
-            };
-            server.arrivals = 0.0;
-            let budget = HEADROOM * server.gauge.gives * shares[server.rack];
-            let places = server.places.min(10_000.0) as u32;
-            server.slots = best_regions(offered, &kb, &self.s.rung_worth, budget, places);
+    /// Sizes a link's regions for its late arrivals when it is looked at and the last sizing is old: the work
+    /// is spread over time. A server's own count weighs as much as the mean once it expects one arrival.
+    fn size(&mut self, now: Time, id: ServerId) {
+        let mean = self.arrivals.0 / self.sums.up.max(1.0);
+        let load = mean / self.arrivals.1.max(1.0) * self.sums.scale * self.length();
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        if server.sized.is_some_and(|t| since(now, t) < RESIZE) {
+            return;
         }
-        self.sized = Some(now);
-    }
-
-    /// Part of a rack's links that its uplink can carry.
-    fn uplink_share(&self, rack: usize) -> f64 {
-        let links: f64 = self.up().filter(|s| s.rack == rack).map(|s| s.gauge.gives).sum();
-        (self.uplinks[rack].gives / links.max(1.0)).min(1.0)
+        server.sized = Some(now);
+        let rack = &self.racks[server.rack];
+        let part = (rack.uplink.gives / rack.links.max(1.0)).min(1.0);
+        let room = HEADROOM * server.gauge.gives * part / self.sums.factor;
+        // Links alike in arrivals and room are sized once.
+        let step = |v: f64, part: f64| (v.max(1e-3).ln() / part).round() as i32;
+        let offered = step(load * (1.0 + server.arrivals) / (1.0 + mean), ALIKE.0);
+        let key = (offered, step(room, ALIKE.1), server.places.min(10_000.0) as u32);
+        let (s, value) = (&self.s, |step: i32, part: f64| (f64::from(step) * part).exp());
+        let (offered, room) = (value(key.0, ALIKE.0), value(key.1, ALIKE.1));
+        let size = || best_regions(offered, &s.rung_kb, &s.rung_worth, room, key.2);
+        server.slots.clone_from(self.sizes.entry(key).or_insert_with(size));
     }
 
     /// The worth of a kB at which all sessions, each at its best rung, would just fill the links: what is
     /// measured to be asked is taken to grow as our own rates would, so that rough rates cancel out.
     fn reprice(&mut self) {
-        let mean = self.mean_fill();
         let asked: f64 =
-            (0..self.uplinks.len()).map(|rack| self.uplink_fill(rack, mean) * self.uplinks[rack].gives).sum();
-        let room: f64 =
-            self.up().map(|s| s.gauge.gives * self.uplink_share(s.rack)).sum::<f64>() * PRICED_FILL;
-        let own: f64 = self.servers.values().map(|s| s.use_kb).sum();
+            (0..self.racks.len()).map(|r| self.uplink_fill(r) * self.racks[r].uplink.gives).sum();
+        let room = self.racks.iter().map(|r| r.links.min(r.uplink.gives)).sum::<f64>() * PRICED_FILL;
         let placed = self.sessions.values().filter(|s| s.server.is_some());
         let ours: Vec<(u8, u8)> = placed.map(|s| (s.ask.class, s.ask.top)).collect();
         let dear = self.s.classes.iter().map(|c| c.worth / c.rate_factor.max(1e-6)).fold(0.0, f64::max);
@@ -482,7 +530,7 @@
         for _ in 0..30 {
             self.price = 0.5 * (low + high);
             let kb: f64 = ours.iter().map(|&(class, top)| self.kb(class, self.priced(class, top))).sum();
-            let over = kb * asked > room * own;
+            let over = kb * asked > room * self.sums.own_kb;
             (low, high) = if over { (self.price, high) } else { (low, self.price) };
         }
         self.price = high;
@@ -500,35 +548,32 @@
 
     fn holders(&self, ask: &Ask) -> Vec<ServerId> {
         let cells = self.s.cells.max(1);
-        let holds = |s: &Server| (u32::from(s.is.cell) + cells - ask.first_cell % cells) % cells < ask.copies;
-        let cells_ok = |s: &Server| u32::from(s.is.cell) < cells;
-        self.servers.iter().filter(|(_, s)| cells_ok(s) && holds(s)).map(|(id, _)| *id).collect()
+        let held = (0..ask.copies.min(cells)).map(|i| (ask.first_cell % cells + i) % cells);
+        held.filter_map(|cell| self.cells.get(&(cell as u16))).flatten().copied().collect()
     }
 
     /// The region and rung that a server offers: `held` is what the session has there already.
     fn offer(&self, ask: &Ask, id: ServerId, held: Option<(usize, u8)>) -> Option<(usize, u8)> {
         let server = self.servers.get(&id)?;
-        let (mean, factor) = (self.mean_fill(), self.mean_factor());
         let class = self.class(ask.class)?;
         let top = ask.top.min(class.top).min(self.last_rung());
         let fair = if held.is_some() { f64::from(self.s.siblings.max(1)) } else { 1.0 };
         let held_kb = held.map_or(0.0, |(_, rung)| self.kb(ask.class, rung));
-        let (link, uplink) = (self.fill(server, mean), self.uplink_fill(server.rack, mean));
+        let (link, uplink) = (self.fill(server), self.uplink_fill(server.rack));
         let others = (link * server.gauge.gives - server.use_kb).max(0.0);
-        let mix: f64 = self.servers.values().map(|s| s.use_kb).sum();
-        let ours = self.sessions.values().filter(|s| s.server == Some(id)).count() as f64;
+        let ours = server.here.len() as f64;
         let streams = ours * (1.0 + others / server.use_kb.max(1.0));
         if top < class.floor || held.is_none() && streams + 1.0 > server.places {
             return None;
         }
         let priced = self.priced(ask.class, top);
         // Danger: raises up to a rough or unreported limit, which relief then takes back at a price each.
-        let told = self.uplinks[server.rack].heard.is_some();
+        let told = self.racks[server.rack].uplink.heard.is_some();
         let mark = if held.is_some() && !told { LOW_MARK } else { HEADROOM };
         let fits = |kb: f64, mark: f64| {
             let more = (kb - held_kb) * fair;
             link + more / server.gauge.gives <= mark
-                && uplink + more / self.uplinks[server.rack].gives <= mark
+                && uplink + more / self.racks[server.rack].uplink.gives <= mark
         };
         let offered = (usize::from(class.floor)..self.s.rung_kb.len()).rev().find_map(|region| {
             let rung = top.min(region as u8);
@@ -536,10 +581,10 @@
             if fits(kb, LOW_MARK) && rung <= priced {
                 return Some((usize::from(rung), rung));
             }
-            let spread = self.servers.values().map(|s| s.region_kb[region]).sum::<f64>() / mix.max(1.0);
+            let spread = self.sums.own_region_kb[region] / self.sums.own_kb.max(1.0);
             let inside = if held.is_some_and(|(r, _)| r == region) { held_kb } else { 0.0 };
             let occupied = server.region_kb[region] + others * spread - inside;
-            let slots = (f64::from(server.slots[region]) + 0.5) * self.s.rung_kb[region] * factor;
+            let slots = (f64::from(server.slots[region]) + 0.5) * self.s.rung_kb[region] * self.sums.factor;
             (fits(kb, mark) && occupied + kb <= slots).then_some((region, rung))
         });
         // Regions lag and rates are rough: while the link is measured to have room, the lowest rung goes.
@@ -551,14 +596,11 @@
     fn usable(&self, now: Time, id: ServerId, free: bool) -> bool {
         let Some(server) = self.servers.get(&id) else { return false };
         let slow = (4.0 * self.setup).max(0.3 * SECOND as f64) as u64;
-        let mut flights = self.sessions.values().filter(|s| s.server == Some(id) && !s.playing).peekable();
+        let mut flights = self.here(server).map(|(_, s)| s).filter(|s| !s.playing).peekable();
         let trial = server.doubts > 0 && (!free || flights.peek().is_some());
         let stuck = flights.any(|s| since(now, s.waiting) > slow);
-        server.is.phase == Phase::Ready
-            && now >= server.blocked
-            && !stuck
-            && !trial
-            && !((server.broke || now < server.cold_until) && now < server.next_cold)
+        let cold = (server.broke || now < server.cold_until) && now < server.next_cold;
+        server.is.phase == Phase::Ready && now >= server.blocked && !(stuck || trial || cold)
     }
 
     /// Two random holders: the higher rung offered, then the lighter; the others only when both are full.
@@ -576,11 +618,13 @@
             let j = self.rng.rand_range(0..i as u32 + 1) as usize;
             ids.swap(i, j);
         }
-        let mean = self.mean_fill();
+        for id in &ids {
+            self.size(now, *id);
+        }
         ids.chunks(2).find_map(|pair| {
             let offers = pair.iter().filter_map(|id| {
                 let server = &self.servers[id];
-                let fill = self.fill(server, mean).max(self.uplink_fill(server.rack, mean));
+                let fill = self.fill(server).max(self.uplink_fill(server.rack));
                 let away = if server.is.zone != self.s.zone { self.s.cross_zone_price } else { 0.0 };
                 let (region, rung) = self.offer(&ask, *id, None)?;
                 match over_share {
@@ -598,16 +642,11 @@
 
     /// Raises sessions at a server, the nearest lower region first and the longest waiting in it.
     fn raise(&mut self, now: Time, id: ServerId, out: &mut Out) {
-        let fit = |s: &Server| s.is.phase != Phase::Gone && now >= s.blocked;
-        if !self.servers.get(&id).is_some_and(fit) {
-            return;
-        }
-        let mut waiting: Vec<_> = self
-            .sessions
-            .iter()
-            .filter(|(_, s)| s.server == Some(id) && s.playing && now >= s.hold && !s.closed)
-            .map(|(r, s)| (std::cmp::Reverse(s.region), s.waiting, *r))
-            .collect();
+        let fit = |s: &&Server| s.is.phase != Phase::Gone && now >= s.blocked;
+        let Some(server) = self.servers.get(&id).filter(fit) else { return };
+        let ready = self.here(server).filter(|(_, s)| s.playing && now >= s.hold && !s.closed);
+        let mut waiting: Vec<_> = ready.map(|(r, s)| (std::cmp::Reverse(s.region), s.waiting, r)).collect();
+        self.size(now, id);
         waiting.sort();
         for (_, _, request) in waiting {
             let Some(session) = self.sessions.get(&request) else { continue };
@@ -637,17 +676,15 @@
 
     /// Departure: where a link or uplink is measured to be overrun, each front lowers its part of the excess.
     fn relieve(&mut self, now: Time, id: ServerId, out: &mut Out) {
-        let mean = self.mean_fill();
         let Some(server) = self.servers.get(&id) else { return };
-        let (link, uplink) = (self.fill(server, mean), self.uplink_fill(server.rack, mean));
+        let (link, uplink) = (self.fill(server), self.uplink_fill(server.rack));
         let x = link.max(uplink);
         if x <= OVERRUN.0 || now < server.next_relief {
             return;
         }
         let mut need = server.use_kb * (1.0 - OVERRUN.1 / x);
-        let here = |s: &Session| s.server == Some(id) && s.playing && !s.closed;
-        let mut rungs: BTreeMap<_, _> =
-            self.sessions.iter().filter(|(_, s)| here(s)).map(|(r, s)| (*r, s.rung)).collect();
+        let here = self.here(server).filter(|(_, s)| s.playing && !s.closed);
+        let mut rungs: BTreeMap<_, _> = here.map(|(r, s)| (r, s.rung)).collect();
         // A rung down where it costs the least worth for what it saves, until enough is saved.
         let step = |request: &RequestId, rung: u8| {
             let class = self.sessions.get(request).and_then(|s| self.class(s.ask.class))?;
@@ -681,8 +718,11 @@
         let over = self.over_share(now, ask.tenant);
         self.arrive(&ask);
         self.open(now, ask);
-        if self.sized.is_none() {
-            self.resize(now);
+        if self.arrivals.1 == 0.0 {
+            // Before any were counted, the sessions already under way stand for the arrivals.
+            let open = self.sessions.len().saturating_sub(1) as f64;
+            self.arrivals = (open / self.length() * COUNTED.0 + self.arrivals.0, COUNTED.0);
+            self.survey(now);
             self.reprice();
         }
         self.next(now, request, over, out);
@@ -697,15 +737,11 @@
         let Some(session) = self.sessions.get_mut(&request) else { return };
         let Some((id, region, rung)) = chosen else {
             let class = self.s.classes.get(usize::from(session.ask.class));
-            let rejected = match class.map(|c| c.effect) {
-                None | Some(Effect::Free) | Some(Effect::Guarded(Group::All)) => true,
-                Some(_) => session.ran.is_none(),
-            };
+            let harmless =
+                class.is_none_or(|c| matches!(c.effect, Effect::Free | Effect::Guarded(Group::All)));
+            let reject = Action::Reject { request, stay_away: self.s.stay_away_cap };
+            out.push(if harmless || session.ran.is_none() { reject } else { Action::Fail(request) });
             self.sessions.remove(&request);
-            out.push(match rejected {
-                true => Action::Reject { request, stay_away: self.s.stay_away_cap },
-                false => Action::Fail(request),
-            });
             return;
         };
         let class = &self.s.classes[usize::from(session.ask.class)];
@@ -725,7 +761,7 @@
     }
 
     fn open(&mut self, now: Time, ask: Ask) {
-        self.mix.push_front((ask.class, ask.top));
+        self.mix.push_front(ask.class);
         self.mix.truncate(100);
         let request = ask.request;
         let session = Session { ask, waiting: now, hold: now, started: now, ..Session::default() };
@@ -761,13 +797,12 @@
         let ((request, id), (outcome, closed, report)) = (of, end);
         let known = self.sessions.get(&request).is_some_and(|s| s.flying && s.server == Some(id));
         if let Some(server) = self.servers.get_mut(&id) {
-            server.broke |= matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
-            match outcome {
-                Outcome::Error | Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset => {
-                    server.trouble(now)
-                }
-                Outcome::Full => server.gauge.x = server.gauge.x.max(self.s.server_guard.min(1.0)),
-                _ => {}
+            let broke = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
+            server.broke |= broke;
+            if broke || matches!(outcome, Outcome::Error | Outcome::Timeout) {
+                server.trouble(now);
+            } else if outcome == Outcome::Full {
+                server.full(self.s.server_guard.min(1.0));
             }
         }
         if known {
@@ -796,7 +831,8 @@
     /// Counts an arrival at the servers that could take it.
     fn arrive(&mut self, ask: &Ask) {
         let mut ids = self.holders(ask);
-        ids.retain(|id| self.servers[id].is.phase == Phase::Ready && !self.servers[id].broke);
+        ids.retain(|id| self.servers[id].is_up());
+        self.arrivals.0 += 1.0;
         for id in &ids {
             if let Some(server) = self.servers.get_mut(id) {
                 server.arrivals += 1.0 / ids.len() as f64;
@@ -813,22 +849,22 @@
         self.seconds += playing * seconds(now, last);
         self.ticked = Some(now);
         out.push(Action::Wake { at: after(now, SECOND), token: 0 });
-        if self.sized.is_none_or(|t| since(now, t) >= RESIZE) {
-            self.resize(now);
-        }
+        // The count forgets as time goes by, the slower the fewer arrivals there are.
+        let (past, rate) = (seconds(now, last), self.arrivals.0 / self.arrivals.1.max(1.0));
+        let kept = (-past * (1.0 / COUNTED.0).min(rate / COUNTED.1)).exp();
+        self.arrivals = (self.arrivals.0 * kept, self.arrivals.1 * kept + past);
+        self.servers.values_mut().for_each(|s| s.arrivals *= kept);
         if self.s.must_ask && since(now, self.listed) > self.s.ask_within / 2 {
             self.listed = now;
             out.push(Action::FetchRoster);
         }
-        for server in self.servers.values_mut() {
-            server.short = server.short.filter(|s| since(now, s.2) < 3 * SECOND);
-        }
-        let calm = |rack: usize| !self.servers.values().any(|s| s.rack == rack && s.short.is_some());
-        for rack in (0..self.uplinks.len()).filter(|r| calm(*r)).collect::<Vec<_>>() {
-            self.uplinks[rack].gives += 0.02 * (self.s.uplink_kb - self.uplinks[rack].gives).max(0.0);
+        self.survey(now);
+        for rack in self.racks.iter_mut().filter(|r| !r.short) {
+            rack.uplink.gives += 0.02 * (self.s.uplink_kb - rack.uplink.gives).max(0.0);
         }
         self.reprice();
-        let ids: Vec<_> = self.servers.keys().copied().collect();
+        let held = self.servers.iter().filter(|(_, s)| !s.here.is_empty());
+        let ids: Vec<_> = held.map(|(id, _)| *id).collect();
         for id in ids {
             self.raise(now, id, out);
         }
@@ -853,10 +889,8 @@
             (Effect::SingleShot, Some(_)) => false,
             (Effect::Guarded(_), Some((_, sent))) => since(now, sent) < class.repeat_within,
         };
-        let allowed = self
-            .s
-            .extra_floor
-            .map_or(f64::INFINITY, |floor| floor + self.s.extra_share * self.taken.len() as f64);
+        let share = self.s.extra_share * self.taken.len() as f64;
+        let allowed = self.s.extra_floor.map_or(f64::INFINITY, |floor| floor + share);
         again
             && session.attempts < self.s.attempts_cap.max(1)
             && (session.attempts == 0 || (self.extras.len() + 1) as f64 <= allowed)
@@ -864,11 +898,10 @@
 
     /// A guarded class is sent again only within the group of the attempt that may have run.
     fn in_group(&self, session: &Session, server: &Server) -> bool {
-        let effect = self.class(session.ask.class).map(|c| c.effect);
-        let first = session.ran.and_then(|(id, _)| self.servers.get(&id));
-        match (effect, session.ran.is_some()) {
-            (Some(Effect::Guarded(Group::Zone)), true) => first.is_some_and(|f| f.is.zone == server.is.zone),
-            (Some(Effect::Guarded(Group::Cell)), true) => first.is_some_and(|f| f.is.cell == server.is.cell),
+        let Some(first) = session.ran.and_then(|(id, _)| self.servers.get(&id)) else { return true };
+        match self.class(session.ask.class).map(|c| c.effect) {
+            Some(Effect::Guarded(Group::Zone)) => first.is.zone == server.is.zone,
+            Some(Effect::Guarded(Group::Cell)) => first.is.cell == server.is.cell,
             _ => true,
         }
     }
@@ -900,6 +933,14 @@
 }
 
 impl Server {
+    fn is_up(&self) -> bool {
+        self.is.phase == Phase::Ready && !self.broke
+    }
+
+    fn full(&mut self, least: f64) {
+        self.gauge.x = self.gauge.x.max(least);
+    }
+
     /// A failure: pause, longer each time; then trials by free classes until several succeed in a row.
     fn trouble(&mut self, now: Time) {
         self.doubts = CLEARING;
