Raises judged by our part of the link, else made by chance

A front counts it as often as its own use goes into the link's; where that does not fit it raises with the probability that fills the room, once for each news.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -77,6 +77,7 @@
     here: BTreeSet<RequestId>,
     slots: Vec<u32>,
     sized: Option<Time>,
+    news: bool,    // Measured since it was last thought of raising here.
     arrivals: f64, // Its part of late requests.
     blocked: Time,
     block: u64,
@@ -327,6 +328,7 @@
         let before = self.fill(server);
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.gauge.measure(now, value, age);
+        server.news = true;
         self.racks[server.rack].asked += (server.gauge.x.min(1.2) - before.min(1.2)) * server.gauge.gives;
     }
 
@@ -557,9 +559,9 @@
         let server = self.servers.get(&id)?;
         let class = self.class(ask.class)?;
         let top = ask.top.min(class.top).min(self.last_rung());
-        let fair = if held.is_some() { f64::from(self.s.siblings.max(1)) } else { 1.0 };
         let held_kb = held.map_or(0.0, |(_, rung)| self.kb(ask.class, rung));
         let (link, uplink) = (self.fill(server), self.uplink_fill(server.rack));
+        let alike = if held.is_some() { self.alike(server) } else { (1.0, 1.0) };
         let others = (link * server.gauge.gives - server.use_kb).max(0.0);
         let ours = server.here.len() as f64;
         let streams = ours * (1.0 + others / server.use_kb.max(1.0));
@@ -571,9 +573,9 @@
         let told = self.racks[server.rack].uplink.heard.is_some();
         let mark = if held.is_some() && !told { LOW_MARK } else { HEADROOM };
         let fits = |kb: f64, mark: f64| {
-            let more = (kb - held_kb) * fair;
-            link + more / server.gauge.gives <= mark
-                && uplink + more / self.racks[server.rack].uplink.gives <= mark
+            let more = kb - held_kb;
+            link + more * alike.0 / server.gauge.gives <= mark
+                && uplink + more * alike.1 / self.racks[server.rack].uplink.gives <= mark
         };
         let offered = (usize::from(class.floor)..self.s.rung_kb.len()).rev().find_map(|region| {
             let rung = top.min(region as u8);
@@ -592,6 +594,29 @@
         offered.or(room.then_some((usize::from(class.floor), class.floor)))
     }
 
+    /// How many times over a raise of ours happens on a link and its uplink: all who hear the same news do
+    /// alike in proportion to their use, on the uplink those told within the delay of news.
+    fn alike(&self, server: &Server) -> (f64, f64) {
+        let all = (self.fill(server) * server.gauge.gives / server.use_kb.max(1.0)).max(1.0);
+        let rack = self.racks[server.rack].links / server.gauge.gives;
+        let late = self.s.note_delay as f64 / self.s.note_every.max(1) as f64;
+        (all, all * (rack * late.min(1.0)).max(1.0))
+    }
+
+    /// Departure: a raise to the priced rung that would not fit if all did alike is made with the probability
+    /// at which the raises of all fill the room. Danger: among many fronts, each with a session or two on a
+    /// link, nothing would ever be raised. Harm: by chance, too many may act; relief takes that back.
+    fn lucky(&mut self, id: ServerId, request: RequestId) -> Option<(usize, u8)> {
+        let (server, session) = (self.servers.get(&id)?, self.sessions.get(&request)?);
+        let rung = self.priced(session.ask.class, session.ask.top);
+        let more = self.kb(session.ask.class, rung) - self.kb(session.ask.class, session.rung);
+        let (alike, uplink) = (self.alike(server), &self.racks[server.rack].uplink);
+        let room = (LOW_MARK - self.fill(server)) * server.gauge.gives / (more * alike.0).max(1.0);
+        let above = (LOW_MARK - self.uplink_fill(server.rack)) * uplink.gives / (more * alike.1).max(1.0);
+        let acts = f64::from(self.rng.rand_float()) < room.min(above);
+        (acts && rung > session.rung).then_some((usize::from(rung), rung))
+    }
+
     /// Whether a server may be sent a set-up now.
     fn usable(&self, now: Time, id: ServerId, free: bool) -> bool {
         let Some(server) = self.servers.get(&id) else { return false };
@@ -644,15 +669,19 @@
     fn raise(&mut self, now: Time, id: ServerId, out: &mut Out) {
         let fit = |s: &&Server| s.is.phase != Phase::Gone && now >= s.blocked;
         let Some(server) = self.servers.get(&id).filter(fit) else { return };
+        let news = server.news;
         let ready = self.here(server).filter(|(_, s)| s.playing && now >= s.hold && !s.closed);
         let mut waiting: Vec<_> = ready.map(|(r, s)| (std::cmp::Reverse(s.region), s.waiting, r)).collect();
         self.size(now, id);
+        self.servers.entry(id).and_modify(|s| s.news = false);
         waiting.sort();
         for (_, _, request) in waiting {
             let Some(session) = self.sessions.get(&request) else { continue };
             let held = (session.region, session.rung);
-            let offer = self.offer(&session.ask, id, Some(held)).filter(|(_, rung)| *rung > held.1);
+            let sure = self.offer(&session.ask, id, Some(held)).filter(|(_, rung)| *rung > held.1);
+            let offer = sure.or_else(|| self.lucky(id, request).filter(|_| news));
             let Some((region, rung)) = offer else { continue };
+            let Some(session) = self.sessions.get(&request) else { continue };
             let watched = seconds(now, session.started);
             let left = session.ask.hint.map_or(self.length(), |h| h as f64 / SECOND as f64 - watched);
             let gain = self.s.rung_worth[usize::from(rung)] - self.s.rung_worth[usize::from(held.1)];
