Relief lowers its part of an overrun on average, not at least a session a front

Cause: every front rounded its part up to a whole session, so that many fronts lowered far more than the excess and climbed back at a price each. The step beyond what is needed is now taken with the probability of the part needed.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -712,23 +712,27 @@
             return;
         }
         let mut need = server.use_kb * (1.0 - OVERRUN.1 / x);
-        let here = self.here(server).filter(|(_, s)| s.playing && !s.closed);
-        let mut rungs: BTreeMap<_, _> = here.map(|(r, s)| (r, s.rung)).collect();
-        // A rung down where it costs the least worth for what it saves, until enough is saved.
-        let step = |request: &RequestId, rung: u8| {
-            let class = self.sessions.get(request).and_then(|s| self.class(s.ask.class))?;
-            let lower = usize::from(rung.checked_sub(1).filter(|r| *r >= class.floor)?);
-            let saved = (self.s.rung_kb[lower + 1] - self.s.rung_kb[lower]) * class.rate_factor;
-            let lost = (self.s.rung_worth[lower + 1] - self.s.rung_worth[lower]) * class.worth;
-            Some((lost / saved.max(1e-9), saved, *request))
-        };
-        while need > 0.0 {
-            let steps = rungs.iter().filter_map(|(request, rung)| step(request, *rung));
-            let Some((_, saved, request)) = steps.min_by(|a, b| a.0.total_cmp(&b.0)) else { break };
-            need -= saved.max(1.0);
-            rungs.entry(request).and_modify(|r| *r -= 1);
+        let mut steps: Vec<(f64, f64, RequestId, u8)> = Vec::new();
+        for (request, s) in self.here(server).filter(|(_, s)| s.playing && !s.closed) {
+            let Some(class) = self.class(s.ask.class) else { continue };
+            for rung in (class.floor..s.rung).rev() {
+                let lower = usize::from(rung);
+                let saved = (self.s.rung_kb[lower + 1] - self.s.rung_kb[lower]) * class.rate_factor;
+                let lost = (self.s.rung_worth[lower + 1] - self.s.rung_worth[lower]) * class.worth;
+                steps.push((lost / saved.max(1e-9), saved.max(1.0), request, rung));
+            }
+        }
+        // Rungs down where they cost the least worth for what they save. The step that saves more than is
+        // needed is taken by chance: danger, each of many fronts would round its part up to a whole session.
+        steps.sort_by(|a, b| a.0.total_cmp(&b.0).then(b.3.cmp(&a.3)));
+        let mut rungs = BTreeMap::new();
+        for (_, saved, request, rung) in steps {
+            if need <= 0.0 || need < saved && f64::from(self.rng.rand_float()) >= need / saved {
+                break;
+            }
+            need -= saved;
+            rungs.entry(request).and_modify(|r: &mut u8| *r = (*r).min(rung)).or_insert(rung);
         }
-        rungs.retain(|request, rung| self.sessions[request].rung != *rung);
         for (request, rung) in rungs {
             self.set_rung(now, request, (usize::from(rung), rung), LOWER_PAUSE, out);
         }
