Turns at a cold server spread evenly over the whole interval of all fronts

Cause: the first set-ups after a restart were spread over a second however many fronts there are, and a front that saw a server break sent at once when it was back. Each front now has its own turn, evenly spaced by its number, counted from the start as listed or from the break.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -33,7 +33,9 @@
 const CLEARING: u32 = 3;
 /// A tenant's rate over its share, and the seconds of it at once, that still count as within it.
 const TENANT: (f64, f64) = (1.15, 3.0);
-const COLD_PART: f64 = 0.6; // Part of the pace that may push over a cold server which the fronts use.
+/// Part of the pace that may push over a cold server which the fronts use: those told of its start and those
+/// who saw it break keep turns of their own, so that the sum of both must fit.
+const COLD_PART: f64 = 0.5;
 
 /// Belief about what is asked of a link or uplink over what it gives.
 #[derive(Clone, Default)]
@@ -310,8 +312,7 @@
             if restarted && cold_until > now {
                 server.cold_until = cold_until.max(server.cold_until);
                 (server.broke, server.blocked) = (false, now);
-                let phase = f64::from(self.rng.rand_float());
-                server.next_cold = server.next_cold.max(after(now, (phase * self.s.fall as f64) as u64));
+                server.next_cold = server.next_cold.max(turn(&self.s, server, e.server, e.since, now));
             }
             self.cells.entry(server.is.cell).or_default().remove(&e.server);
             self.cells.entry(e.cell).or_default().insert(e.server);
@@ -353,6 +354,7 @@
         self.sums = Sums { factor, own_region_kb, ..Sums::default() };
         for server in self.servers.values_mut() {
             server.short = server.short.filter(|s| since(now, s.2) < 3 * SECOND);
+            server.broke &= now < server.cold_until;
             self.sums.own_kb += server.use_kb;
             self.sums.own_region_kb.iter_mut().zip(&server.region_kb).for_each(|(sum, kb)| *sum += kb);
         }
@@ -624,7 +626,7 @@
         let mut flights = self.here(server).map(|(_, s)| s).filter(|s| !s.playing).peekable();
         let trial = server.doubts > 0 && (!free || flights.peek().is_some());
         let stuck = flights.any(|s| since(now, s.waiting) > slow);
-        let cold = (server.broke || now < server.cold_until) && now < server.next_cold;
+        let cold = now < server.cold_until && now < server.next_cold;
         server.is.phase == Phase::Ready && now >= server.blocked && !(stuck || trial || cold)
     }
 
@@ -786,8 +788,8 @@
         (session.flying, session.waiting) = (true, now);
         session.tried.push(id);
         self.extras.extend((session.attempts > 1).then_some(now));
-        let interval = self.cold_interval(id);
-        self.servers.entry(id).and_modify(|s| s.next_cold = after(now, interval));
+        let settings = &self.s;
+        self.servers.entry(id).and_modify(|s| s.next_cold = after(now, cold_interval(settings, s)));
         self.book(now, request, true);
         out.push(Action::Rung { request, rung });
         out.push(Action::Attempt { request, server: id, timeout });
@@ -831,7 +833,11 @@
         let known = self.sessions.get(&request).is_some_and(|s| s.flying && s.server == Some(id));
         if let Some(server) = self.servers.get_mut(&id) {
             let broke = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
-            server.broke |= broke;
+            if broke && !server.broke {
+                server.broke = true;
+                server.cold_until = server.cold_until.max(after(now, 2 * self.s.cold));
+                server.next_cold = server.next_cold.max(turn(&self.s, server, id, now, now));
+            }
             if broke || matches!(outcome, Outcome::Error | Outcome::Timeout) {
                 server.trouble(now);
             } else if outcome == Outcome::Full {
@@ -956,13 +962,24 @@
         *used += f64::from(u8::from(within));
         !within
     }
+}
 
-    /// This front's least time between set-ups at a cold server, its warmth taken at the least.
-    fn cold_interval(&self, id: ServerId) -> u64 {
-        let places = self.servers.get(&id).map_or(1.0, |s| s.places.min(10_000.0));
-        let pace = places / self.s.cold.max(1) as f64 * self.s.cold_share * self.s.fall_multiple * COLD_PART;
-        (f64::from(self.s.siblings.max(1)) / pace.max(1e-12)) as u64
-    }
+/// A front's least time between set-ups at a cold server, its warmth taken at the least.
+fn cold_interval(s: &Settings, server: &Server) -> u64 {
+    let pace = server.places.min(10_000.0) / s.cold.max(1) as f64;
+    let pace = pace * s.cold_share * s.fall_multiple * COLD_PART;
+    (f64::from(s.siblings.max(1)) / pace.max(1e-12)) as u64
+}
+
+/// This front's first turn at a server that started: the fronts' turns are spread evenly over the interval, in
+/// an order that differs from server to server. Danger: all fronts hear of a start at once, and a turn each
+/// within a second pushes it over. Harm: many fronts leave a cold server idle until it is warm.
+fn turn(s: &Settings, server: &Server, id: ServerId, start: Time, now: Time) -> Time {
+    let (siblings, interval) = (u64::from(s.siblings.max(1)), cold_interval(s, server).max(1));
+    let place = (u64::from(s.index) + u64::from(id.0)) % siblings;
+    let first = start.0.saturating_add((interval as f64 * (place as f64 + 0.5) / siblings as f64) as u64);
+    let missed = now.0.saturating_sub(first).div_ceil(interval);
+    Time(first.saturating_add(missed.saturating_mul(interval)))
 }
 
 impl Server {
