Tenants: chance may bring four requests at once beyond the rate

Cause: at one of 200 fronts a tenant's part is 0.1 requests a second and its bucket held one, so that the second request within ten seconds was refused above the low mark.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,8 +31,9 @@
 /// First and longest pause of a server that failed us; successes in a row that clear it.
 const BLOCK: (u64, u64) = (SECOND, 8 * SECOND);
 const CLEARING: u32 = 3;
-/// A tenant's rate over its share, and the seconds of it at once, that still count as within it.
-const TENANT: (f64, f64) = (1.15, 3.0);
+/// A tenant's rate over its share, the seconds of it, and the requests more that chance may bring at once, that
+/// still count as within it.
+const TENANT: (f64, f64, f64) = (1.15, 3.0, 4.0);
 /// Part of the pace that may push over a cold server which the fronts use: those told of its start and those
 /// who saw it break keep turns of their own, so that the sum of both must fit.
 const COLD_PART: f64 = 0.5;
@@ -958,7 +959,7 @@
         let Some((used, at)) = self.tenants.get_mut(usize::from(tenant)) else { return false };
         *used = (*used - rate * seconds(now, *at)).max(0.0);
         *at = now;
-        let within = rate <= 0.0 || *used + 1.0 <= (rate * TENANT.1).max(1.0);
+        let within = rate <= 0.0 || *used + 1.0 <= rate * TENANT.1 + TENANT.2;
         *used += f64::from(u8::from(within));
         !within
     }
