Streams of a server judged by the mean rate of late sessions

Cause: with one session at a server its rate stood for all, so that a low rung made the server seem full of streams.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -19,6 +19,7 @@
 const RESIZE: u64 = 10 * SECOND; // Regions are sized anew after this time.
 /// Arrivals are counted over this time, or over what so many arrivals take.
 const COUNTED: (f64, f64) = (15.0, 10.0);
+const SAMPLE: f64 = 30.0; // Sessions that stand for all well enough.
 /// Steps, as parts, within which links count as equal when they are sized: arrivals, room.
 const ALIKE: (f64, f64) = (0.2, 0.05);
 const RAISE_PAUSE: u64 = 30 * SECOND; // A session is raised once in this time at most.
@@ -110,6 +111,7 @@
     scale: f64, // What is asked of all links over what our own sessions ask: our part, turned over.
     factor: f64,
     own_kb: f64,
+    each_kb: f64, // Mean rate of a session.
     own_region_kb: Vec<f64>,
 }
 
@@ -147,6 +149,8 @@
     ticked: Option<Time>,
     listed: Time,
     sums: Sums,
+    /// Rates of our sessions and their number, summed over late seconds.
+    used: (f64, f64),
     /// Late requests, and the seconds they came in.
     arrivals: (f64, f64),
     sizes: BTreeMap<(i32, i32, u32), Vec<u32>>,
@@ -254,6 +258,7 @@
             ticked: None,
             listed: now,
             sums: Sums::default(),
+            used: (settings.rung_kb.get(rungs / 2).copied().unwrap_or(1.0), 1.0),
             arrivals: (0.0, 0.0),
             sizes: BTreeMap::new(),
             mix: VecDeque::new(),
@@ -361,6 +366,8 @@
         }
         let heard = self.servers.values().filter(|s| s.is.phase != Phase::Gone && s.gauge.heard.is_some());
         let (n, sum) = heard.fold((0.0, 0.0), |(n, sum), s| (n + 1.0, sum + s.gauge.x));
+        let held = self.sessions.values().filter(|s| s.server.is_some()).count() as f64;
+        self.sums.each_kb = (self.used.0 + self.sums.own_kb) / (self.used.1 + held).max(1.0);
         let likely = self.sums.own_kb * siblings / self.s.fleet_kb.max(1.0);
         self.sums.mean = if n > 0.0 { sum / n } else { likely };
         for rack in &mut self.racks {
@@ -566,8 +573,7 @@
         let (link, uplink) = (self.fill(server), self.uplink_fill(server.rack));
         let alike = if held.is_some() { self.alike(server) } else { (1.0, 1.0) };
         let others = (link * server.gauge.gives - server.use_kb).max(0.0);
-        let ours = server.here.len() as f64;
-        let streams = ours * (1.0 + others / server.use_kb.max(1.0));
+        let streams = server.here.len() as f64 + others / self.sums.each_kb.max(1.0);
         if top < class.floor || held.is_none() && streams + 1.0 > server.places {
             return None;
         }
@@ -899,6 +905,10 @@
             out.push(Action::FetchRoster);
         }
         self.survey(now);
+        // A few sessions say little of the rates of all: the fewer, the longer they are remembered.
+        let n = self.sessions.values().filter(|s| s.server.is_some()).count() as f64;
+        let kept = (-past * n / SAMPLE).exp();
+        self.used = ((self.used.0 + self.sums.own_kb * past) * kept, (self.used.1 + n * past) * kept);
         for rack in self.racks.iter_mut().filter(|r| !r.short) {
             rack.uplink.gives += 0.02 * (self.s.uplink_kb - rack.uplink.gives).max(0.0);
         }
