--- a/src/choice.rs
+++ b/src/choice.rs
@@ -154,8 +154,8 @@
     /// Late requests, and the seconds they came in.
     arrivals: (f64, f64),
     sizes: BTreeMap<(i32, i32, u32), Vec<u32>>,
-    mix: VecDeque<u8>, // Classes of late requests.
-    price: f64,        // What a kB a second is worth to our sessions.
+    mix: VecDeque<(u8, u8)>, // Classes and best rungs of late requests.
+    price: f64,              // What a kB a second is worth to our sessions.
 }
 
 fn after(t: Time, d: u64) -> Time {
@@ -354,7 +354,7 @@
 
     fn survey(&mut self, now: Time) {
         let siblings = f64::from(self.s.siblings.max(1));
-        let factors = self.mix.iter().filter_map(|c| self.class(*c)).map(|c| c.rate_factor);
+        let factors = self.mix.iter().filter_map(|(c, _)| self.class(*c)).map(|c| c.rate_factor);
         let factor = factors.sum::<f64>().max(1e-3) / self.mix.len().max(1) as f64;
         let own_region_kb = vec![0.0; self.s.rung_kb.len()];
         self.sums = Sums { factor, own_region_kb, ..Sums::default() };
@@ -536,13 +536,15 @@
             (0..self.racks.len()).map(|r| self.uplink_fill(r) * self.racks[r].uplink.gives).sum();
         let room = self.racks.iter().map(|r| r.links.min(r.uplink.gives)).sum::<f64>() * PRICED_FILL;
         let placed = self.sessions.values().filter(|s| s.server.is_some());
-        let ours: Vec<(u8, u8)> = placed.map(|s| (s.ask.class, s.ask.top)).collect();
+        let mut ours: Vec<(u8, u8)> = placed.map(|s| (s.ask.class, s.ask.top)).collect();
+        // A front with few sessions prices for its late requests too.
+        ours.extend(self.mix.iter().take((SAMPLE as usize).saturating_sub(ours.len())));
         let dear = self.s.classes.iter().map(|c| c.worth / c.rate_factor.max(1e-6)).fold(0.0, f64::max);
         let (mut low, mut high) = (0.0, dear / self.s.rung_kb.first().map_or(1.0, |kb| kb.max(1e-6)));
         for _ in 0..30 {
             self.price = 0.5 * (low + high);
             let kb: f64 = ours.iter().map(|&(class, top)| self.kb(class, self.priced(class, top))).sum();
-            let over = kb * asked > room * self.sums.own_kb;
+            let over = kb * asked > room * self.sums.each_kb * ours.len() as f64;
             (low, high) = if over { (self.price, high) } else { (low, self.price) };
         }
         self.price = high;
@@ -803,7 +805,7 @@
     }
 
     fn open(&mut self, now: Time, ask: Ask) {
-        self.mix.push_front(ask.class);
+        self.mix.push_front((ask.class, ask.top));
         self.mix.truncate(100);
         let request = ask.request;
         let session = Session { ask, waiting: now, hold: now, started: now, ..Session::default() };
