The note at a set-up is ours alone: raises and relief act on it in full

Cause: what a front hears at its own set-up no other front hears, so that thinning by our part leaves room and overruns as they are.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -149,6 +149,7 @@
     ticked: Option<Time>,
     listed: Time,
     sums: Sums,
+    alone: bool, // The news in hand came with a set-up of ours: no other front hears it.
     /// Rates of our sessions and their number, summed over late seconds.
     used: (f64, f64),
     /// Late requests, and the seconds they came in.
@@ -258,6 +259,7 @@
             ticked: None,
             listed: now,
             sums: Sums::default(),
+            alone: false,
             used: (settings.rung_kb.get(rungs / 2).copied().unwrap_or(1.0), 1.0),
             arrivals: (0.0, 0.0),
             sizes: BTreeMap::new(),
@@ -462,7 +464,12 @@
             Note::Uplink(x) => self.racks[rack].uplink.measure(now, x, age),
             Note::Delivered(share) => self.delivered(now, id, share),
         }
+        self.alone = fresh && matches!(note, Note::Link(_));
         self.relieve(now, id, out);
+        if self.alone {
+            self.raise(now, id, out);
+        }
+        self.alone = false;
     }
 
     /// What a short delivery is laid to, once a note of the link has come since it began: the link if that is
@@ -608,6 +615,9 @@
     /// How many times over a raise of ours happens on a link and its uplink: all who hear the same news do
     /// alike in proportion to their use, on the uplink those told within the delay of news.
     fn alike(&self, server: &Server) -> (f64, f64) {
+        if self.alone {
+            return (1.0, 1.0);
+        }
         let all = (self.fill(server) * server.gauge.gives / server.use_kb.max(1.0)).max(1.0);
         let rack = self.racks[server.rack].links / server.gauge.gives;
         let late = self.s.note_delay as f64 / self.s.note_every.max(1) as f64;
@@ -722,7 +732,8 @@
         if x <= OVERRUN.0 || now < server.next_relief {
             return;
         }
-        let mut need = server.use_kb * (1.0 - OVERRUN.1 / x);
+        let part = if self.alone && link >= uplink { link * server.gauge.gives } else { server.use_kb };
+        let mut need = part * (1.0 - OVERRUN.1 / x);
         let mut steps: Vec<(f64, f64, RequestId, u8)> = Vec::new();
         for (request, s) in self.here(server).filter(|(_, s)| s.playing && !s.closed) {
             let Some(class) = self.class(s.ask.class) else { continue };
