--- a/src/choice.rs
+++ b/src/choice.rs
@@ -106,8 +106,7 @@
 /// Sums over all servers, taken each second and kept up in between, so that no event scans the fleet.
 #[derive(Default)]
 struct Sums {
-    mean: f64,   // Fill of the servers heard; before any was, what our own sessions make likely.
-    spread: f64, // Their spread.
+    mean: f64, // Fill of the servers heard; before any was, what our own sessions make likely.
     up: f64,
     scale: f64, // What is asked of all links over what our own sessions ask: our part, turned over.
     factor: f64,
@@ -368,9 +367,7 @@
             self.sums.own_region_kb.iter_mut().zip(&server.region_kb).for_each(|(sum, kb)| *sum += kb);
         }
         let heard = self.servers.values().filter(|s| s.is.phase != Phase::Gone && s.gauge.heard.is_some());
-        let add = |(n, sum, squares), x: f64| (n + 1.0, sum + x, squares + x * x);
-        let (n, sum, squares) = heard.map(|s| s.gauge.x).fold((0.0, 0.0, 0.0), add);
-        self.sums.spread = if n > 0.0 { (squares / n - (sum / n) * (sum / n)).max(0.0).sqrt() } else { 0.0 };
+        let (n, sum) = heard.fold((0.0, 0.0), |(n, sum), s| (n + 1.0, sum + s.gauge.x));
         let held = self.sessions.values().filter(|s| s.server.is_some()).count() as f64;
         self.sums.each_kb = (self.used.0 + self.sums.own_kb) / (self.used.1 + held).max(1.0);
         let likely = self.sums.own_kb * siblings / self.s.fleet_kb.max(1.0);
@@ -396,20 +393,13 @@
     /// Fill of a server's link: what was heard gives way to the mean as it ages, so that none is kept out by
     /// old news.
     fn fill(&self, server: &Server) -> f64 {
+        let now = self.ticked.unwrap_or_default();
         let own = server.use_kb / server.gauge.gives;
         let mean = self.sums.mean.min(LOW_MARK); // Unheard servers must be tried to be heard.
-        (mean + self.fresh(server) * (server.gauge.x - mean)).max(own)
-    }
-
-    /// How much the last measurement of a link still counts.
-    fn fresh(&self, server: &Server) -> f64 {
-        let Some(heard) = server.gauge.heard else { return 0.0 };
-        let old = (seconds(self.ticked.unwrap_or_default(), heard) - STALE).max(0.0) / STALE;
-        if old > 0.0 {
-            (-old).exp()
-        } else {
-            1.0
-        }
+        let Some(heard) = server.gauge.heard else { return mean.max(own) };
+        let old = (seconds(now, heard) - STALE).max(0.0) / STALE;
+        let fresh = if old > 0.0 { (-old).exp() } else { 1.0 };
+        (mean + fresh * (server.gauge.x - mean)).max(own)
     }
 
     fn uplink_fill(&self, rack: usize) -> f64 {
@@ -589,11 +579,7 @@
         let class = self.class(ask.class)?;
         let top = ask.top.min(class.top).min(self.last_rung());
         let held_kb = held.map_or(0.0, |(_, rung)| self.kb(ask.class, rung));
-        let (mut link, uplink) = (self.fill(server), self.uplink_fill(server.rack));
-        if held.is_none() {
-            // Danger: links unheard of lie on both sides of the mean, and an overrun one costs all on it.
-            link = link.max((link + self.sums.spread * (1.0 - self.fresh(server))).min(LOW_MARK));
-        }
+        let (link, uplink) = (self.fill(server), self.uplink_fill(server.rack));
         let alike = if held.is_some() { self.alike(server) } else { (1.0, 1.0) };
         let others = (link * server.gauge.gives - server.use_kb).max(0.0);
         let streams = server.here.len() as f64 + others / self.sums.each_kb.max(1.0);
