--- a/src/choice.rs
+++ b/src/choice.rs
@@ -12,6 +12,7 @@
 const HEADROOM: f64 = 0.9; // Part of a link or uplink that slots may fill.
 const LOW_MARK: f64 = 0.8; // Below this part of link and uplink a session gets the highest rung that fits.
 const PRICED_FILL: f64 = 0.8; // Part of the links that the expected sessions are priced to fill.
+const CHANCE_FILL: f64 = 0.7; // Part of link and uplink that raises by chance fill.
 /// Bounds of the use by all fronts over our own, as multiples of their number.
 const SCALE: (f64, f64) = (0.7, 1.4);
 const STALE: f64 = 6.0; // Seconds after which a measurement begins to give way to the mean.
@@ -632,8 +633,8 @@
         let rung = self.priced(session.ask.class, session.ask.top);
         let more = self.kb(session.ask.class, rung) - self.kb(session.ask.class, session.rung);
         let (alike, uplink) = (self.alike(server), &self.racks[server.rack].uplink);
-        let room = (LOW_MARK - self.fill(server)) * server.gauge.gives / (more * alike.0).max(1.0);
-        let above = (LOW_MARK - self.uplink_fill(server.rack)) * uplink.gives / (more * alike.1).max(1.0);
+        let room = (CHANCE_FILL - self.fill(server)) * server.gauge.gives / (more * alike.0).max(1.0);
+        let above = (CHANCE_FILL - self.uplink_fill(server.rack)) * uplink.gives / (more * alike.1).max(1.0);
         let acts = f64::from(self.rng.rand_float()) < room.min(above);
         (acts && rung > session.rung).then_some((usize::from(rung), rung))
     }
