--- a/src/choice.rs
+++ b/src/choice.rs
@@ -581,7 +581,7 @@
         let top = ask.top.min(class.top).min(self.last_rung());
         let held_kb = held.map_or(0.0, |(_, rung)| self.kb(ask.class, rung));
         let (link, uplink) = (self.fill(server), self.uplink_fill(server.rack));
-        let alike = if held.is_some() { self.alike(server) } else { (1.0, 1.0) };
+        let alike = if held.is_some() { self.alike(server) } else { 1.0 };
         let others = (link * server.gauge.gives - server.use_kb).max(0.0);
         let streams = server.here.len() as f64 + others / self.sums.each_kb.max(1.0);
         if top < class.floor || held.is_none() && streams + 1.0 > server.places {
@@ -593,8 +593,8 @@
         let mark = if held.is_some() && !told { LOW_MARK } else { HEADROOM };
         let fits = |kb: f64, mark: f64| {
             let more = kb - held_kb;
-            link + more * alike.0 / server.gauge.gives <= mark
-                && uplink + more * alike.1 / self.racks[server.rack].uplink.gives <= mark
+            link + more * alike / server.gauge.gives <= mark
+                && uplink + more * alike / self.racks[server.rack].uplink.gives <= mark
         };
         let offered = (usize::from(class.floor)..self.s.rung_kb.len()).rev().find_map(|region| {
             let rung = top.min(region as u8);
@@ -613,16 +613,15 @@
         offered.or(room.then_some((usize::from(class.floor), class.floor)))
     }
 
-    /// How many times over a raise of ours happens on a link and its uplink: all who hear the same news do
-    /// alike in proportion to their use, on the uplink those told within the delay of news.
-    fn alike(&self, server: &Server) -> (f64, f64) {
+    /// How many times over a raise of ours happens: all who hear the same news do alike in proportion to their
+    /// use, but no front more than once.
+    fn alike(&self, server: &Server) -> f64 {
+        let all = self.fill(server) * server.gauge.gives / server.use_kb.max(1.0);
         if self.alone {
-            return (1.0, 1.0);
+            1.0
+        } else {
+            all.clamp(1.0, f64::from(self.s.siblings.max(1)))
         }
-        let all = (self.fill(server) * server.gauge.gives / server.use_kb.max(1.0)).max(1.0);
-        let rack = self.racks[server.rack].links / server.gauge.gives;
-        let late = self.s.note_delay as f64 / self.s.note_every.max(1) as f64;
-        (all, all * (rack * late.min(1.0)).max(1.0))
     }
 
     /// Departure: a raise to the priced rung that would not fit if all did alike is made with the probability
@@ -633,8 +632,8 @@
         let rung = self.priced(session.ask.class, session.ask.top);
         let more = self.kb(session.ask.class, rung) - self.kb(session.ask.class, session.rung);
         let (alike, uplink) = (self.alike(server), &self.racks[server.rack].uplink);
-        let room = (CHANCE_FILL - self.fill(server)) * server.gauge.gives / (more * alike.0).max(1.0);
-        let above = (CHANCE_FILL - self.uplink_fill(server.rack)) * uplink.gives / (more * alike.1).max(1.0);
+        let room = (CHANCE_FILL - self.fill(server)) * server.gauge.gives / (more * alike).max(1.0);
+        let above = (CHANCE_FILL - self.uplink_fill(server.rack)) * uplink.gives / (more * alike).max(1.0);
         let acts = f64::from(self.rng.rand_float()) < room.min(above);
         (acts && rung > session.rung).then_some((usize::from(rung), rung))
     }
