A raise happens once a front and at most once a stream; set-up notes nothing special

Taking a link's streams as the most fronts that hear its news keeps the old meaning among few fronts and thins raises among many.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -150,7 +150,6 @@
     ticked: Option<Time>,
     listed: Time,
     sums: Sums,
-    alone: bool, // The news in hand came with a set-up of ours: no other front hears it.
     /// Rates of our sessions and their number, summed over late seconds.
     used: (f64, f64),
     /// Late requests, and the seconds they came in.
@@ -260,7 +259,6 @@
             ticked: None,
             listed: now,
             sums: Sums::default(),
-            alone: false,
             used: (settings.rung_kb.get(rungs / 2).copied().unwrap_or(1.0), 1.0),
             arrivals: (0.0, 0.0),
             sizes: BTreeMap::new(),
@@ -465,12 +463,7 @@
             Note::Uplink(x) => self.racks[rack].uplink.measure(now, x, age),
             Note::Delivered(share) => self.delivered(now, id, share),
         }
-        self.alone = fresh && matches!(note, Note::Link(_));
         self.relieve(now, id, out);
-        if self.alone {
-            self.raise(now, id, out);
-        }
-        self.alone = false;
     }
 
     /// What a short delivery is laid to, once a note of the link has come since it began: the link if that is
@@ -583,8 +576,7 @@
         let (link, uplink) = (self.fill(server), self.uplink_fill(server.rack));
         let alike = if held.is_some() { self.alike(server) } else { 1.0 };
         let others = (link * server.gauge.gives - server.use_kb).max(0.0);
-        let streams = server.here.len() as f64 + others / self.sums.each_kb.max(1.0);
-        if top < class.floor || held.is_none() && streams + 1.0 > server.places {
+        if top < class.floor || held.is_none() && self.streams(server) + 1.0 > server.places {
             return None;
         }
         let priced = self.priced(ask.class, top);
@@ -613,15 +605,16 @@
         offered.or(room.then_some((usize::from(class.floor), class.floor)))
     }
 
-    /// How many times over a raise of ours happens: all who hear the same news do alike in proportion to their
-    /// use, but no front more than once.
+    /// Streams that a server is thought to run: ours, and others at the mean rate of ours.
+    fn streams(&self, server: &Server) -> f64 {
+        let others = (self.fill(server) * server.gauge.gives - server.use_kb).max(0.0);
+        server.here.len() as f64 + others / self.sums.each_kb.max(1.0)
+    }
+
+    /// How many times over a raise of ours happens: once for each front that hears the same news, and no more
+    /// fronts hear it than streams run there.
     fn alike(&self, server: &Server) -> f64 {
-        let all = self.fill(server) * server.gauge.gives / server.use_kb.max(1.0);
-        if self.alone {
-            1.0
-        } else {
-            all.clamp(1.0, f64::from(self.s.siblings.max(1)))
-        }
+        self.streams(server).min(f64::from(self.s.siblings)).max(1.0)
     }
 
     /// Departure: a raise to the priced rung that would not fit if all did alike is made with the probability
@@ -732,8 +725,7 @@
         if x <= OVERRUN.0 || now < server.next_relief {
             return;
         }
-        let part = if self.alone && link >= uplink { link * server.gauge.gives } else { server.use_kb };
-        let mut need = part * (1.0 - OVERRUN.1 / x);
+        let mut need = server.use_kb * (1.0 - OVERRUN.1 / x);
         let mut steps: Vec<(f64, f64, RequestId, u8)> = Vec::new();
         for (request, s) in self.here(server).filter(|(_, s)| s.playing && !s.closed) {
             let Some(class) = self.class(s.ask.class) else { continue };
