--- a/src/choice.rs
+++ b/src/choice.rs
@@ -26,7 +26,7 @@
 const RAISE_PAUSE: u64 = 30 * SECOND; // A session is raised once in this time at most.
 const LOWER_PAUSE: u64 = 12 * SECOND; // A lowered session is raised no sooner.
 /// Measured ask over give beyond which playing sessions are lowered, and what they are lowered to.
-const OVERRUN: (f64, f64) = (1.0, 0.88);
+const OVERRUN: (f64, f64) = (1.03, 0.95);
 const TRUST: f64 = 0.8; // Weight of a new measurement against what was believed.
 /// Session length believed before any has ended, and the ends that this counts for.
 const FIRST_LENGTH: (f64, f64) = (30.0, 3.0);
