--- a/src/choice.rs
+++ b/src/choice.rs
@@ -71,6 +71,20 @@
     }
 }
 
+impl Gauge {
+    /// What was heard gives way to the mean as it ages, so that none is kept out by old news.
+    fn faded(&self, now: Option<Time>, mean: f64) -> f64 {
+        let old = |heard| (seconds(now.unwrap_or_default(), heard) - STALE).max(0.0) / STALE;
+        self.heard.map_or(mean, |heard| mean + (-old(heard)).exp() * (self.x - mean))
+    }
+}
+
+/// Mean of the gauges that were heard.
+fn mean_heard<'a>(gauges: impl Iterator<Item = &'a Gauge>) -> Option<f64> {
+    let heard: Vec<f64> = gauges.filter(|g| g.heard.is_some()).map(|g| g.x).collect();
+    Some(heard.iter().sum::<f64>() / heard.len() as f64).filter(|_| !heard.is_empty())
+}
+
 #[derive(Default)]
 struct Server {
     is: Listing,
@@ -107,6 +121,7 @@
 /// Sums over all servers, taken each second and kept up in between, so that no event scans the fleet.
 #[derive(Default)]
 struct Sums {
+    mean_uplink: Option<f64>,
     mean: f64, // Fill of the servers heard; before any was, what our own sessions make likely.
     up: f64,
     scale: f64, // What is asked of all links over what our own sessions ask: our part, turned over.
@@ -365,12 +380,12 @@
             self.sums.own_kb += server.use_kb;
             self.sums.own_region_kb.iter_mut().zip(&server.region_kb).for_each(|(sum, kb)| *sum += kb);
         }
-        let heard = self.servers.values().filter(|s| s.is.phase != Phase::Gone && s.gauge.heard.is_some());
-        let (n, sum) = heard.fold((0.0, 0.0), |(n, sum), s| (n + 1.0, sum + s.gauge.x));
+        self.sums.mean_uplink = mean_heard(self.racks.iter().map(|r| &r.uplink));
+        let there = self.servers.values().filter(|s| s.is.phase != Phase::Gone);
         let held = self.sessions.values().filter(|s| s.server.is_some()).count() as f64;
         self.sums.each_kb = (self.used.0 + self.sums.own_kb) / (self.used.1 + held).max(1.0);
         let likely = self.sums.own_kb * siblings / self.s.fleet_kb.max(1.0);
-        self.sums.mean = if n > 0.0 { sum / n } else { likely };
+        self.sums.mean = mean_heard(there.map(|s| &s.gauge)).unwrap_or(likely);
         for rack in &mut self.racks {
             (rack.links, rack.asked, rack.short) = (0.0, 0.0, false);
         }
@@ -389,21 +404,20 @@
         self.sums.scale = seen.clamp(SCALE.0 * siblings, SCALE.1 * siblings).max(1.0);
     }
 
-    /// Fill of a server's link: what was heard gives way to the mean as it ages, so that none is kept out by
-    /// old news.
+    /// Fill of a server's link. Unheard links count as the mean, the low mark at most: they must be tried to be
+    /// heard.
     fn fill(&self, server: &Server) -> f64 {
-        let now = self.ticked.unwrap_or_default();
         let own = server.use_kb / server.gauge.gives;
-        let mean = self.sums.mean.min(LOW_MARK); // Unheard servers must be tried to be heard.
-        let Some(heard) = server.gauge.heard else { return mean.max(own) };
-        let old = (seconds(now, heard) - STALE).max(0.0) / STALE;
-        let fresh = if old > 0.0 { (-old).exp() } else { 1.0 };
-        (mean + fresh * (server.gauge.x - mean)).max(own)
+        server.gauge.faded(self.ticked, self.sums.mean.min(LOW_MARK)).max(own)
     }
 
+    /// Fill of a rack's uplink; where uplinks are not reported, what its links ask.
     fn uplink_fill(&self, rack: usize) -> f64 {
         let rack = &self.racks[rack];
-        rack.uplink.heard.map_or(rack.asked.max(0.0) / rack.uplink.gives, |_| rack.uplink.x)
+        match self.sums.mean_uplink {
+            Some(mean) => rack.uplink.faded(self.ticked, mean.min(LOW_MARK)),
+            None => rack.asked.max(0.0) / rack.uplink.gives,
+        }
     }
 
     fn here<'a>(&'a self, server: &'a Server) -> impl Iterator<Item = (RequestId, &'a Session)> + 'a {
