--- a/src/choice.rs
+++ b/src/choice.rs
@@ -72,17 +72,23 @@
 }
 
 impl Gauge {
+    /// How much the last measurement still counts.
+    fn fresh(&self, now: Option<Time>) -> f64 {
+        let old = |heard| (seconds(now.unwrap_or_default(), heard) - STALE).max(0.0) / STALE;
+        self.heard.map_or(0.0, |heard| (-old(heard)).exp())
+    }
+
     /// What was heard gives way to the mean as it ages, so that none is kept out by old news.
     fn faded(&self, now: Option<Time>, mean: f64) -> f64 {
-        let old = |heard| (seconds(now.unwrap_or_default(), heard) - STALE).max(0.0) / STALE;
-        self.heard.map_or(mean, |heard| mean + (-old(heard)).exp() * (self.x - mean))
+        mean + self.fresh(now) * (self.x - mean)
     }
 }
 
-/// Mean of the gauges that were heard.
-fn mean_heard<'a>(gauges: impl Iterator<Item = &'a Gauge>) -> Option<f64> {
-    let heard: Vec<f64> = gauges.filter(|g| g.heard.is_some()).map(|g| g.x).collect();
-    Some(heard.iter().sum::<f64>() / heard.len() as f64).filter(|_| !heard.is_empty())
+/// Mean of the gauges that were heard, late news first.
+fn mean_heard<'a>(now: Option<Time>, gauges: impl Iterator<Item = &'a Gauge>) -> Option<f64> {
+    let add = |(n, sum), (weight, x)| (n + weight, sum + weight * x);
+    let (n, sum) = gauges.map(|g| (g.fresh(now), g.x)).fold((0.0, 0.0), add);
+    Some(sum / n).filter(|_| n > 0.0)
 }
 
 #[derive(Default)]
@@ -380,12 +386,12 @@
             self.sums.own_kb += server.use_kb;
             self.sums.own_region_kb.iter_mut().zip(&server.region_kb).for_each(|(sum, kb)| *sum += kb);
         }
-        self.sums.mean_uplink = mean_heard(self.racks.iter().map(|r| &r.uplink));
+        self.sums.mean_uplink = mean_heard(self.ticked, self.racks.iter().map(|r| &r.uplink));
         let there = self.servers.values().filter(|s| s.is.phase != Phase::Gone);
         let held = self.sessions.values().filter(|s| s.server.is_some()).count() as f64;
         self.sums.each_kb = (self.used.0 + self.sums.own_kb) / (self.used.1 + held).max(1.0);
         let likely = self.sums.own_kb * siblings / self.s.fleet_kb.max(1.0);
-        self.sums.mean = mean_heard(there.map(|s| &s.gauge)).unwrap_or(likely);
+        self.sums.mean = mean_heard(self.ticked, there.map(|s| &s.gauge)).unwrap_or(likely);
         for rack in &mut self.racks {
             (rack.links, rack.asked, rack.short) = (0.0, 0.0, false);
         }
