--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,6 +23,7 @@
 const SAMPLE: f64 = 30.0; // Sessions that stand for all well enough.
 /// Steps, as parts, within which links count as equal when they are sized: arrivals, room.
 const ALIKE: (f64, f64) = (0.2, 0.05);
+const SEARCH: usize = 200; // Trades of slots at most in a climb.
 const RAISE_PAUSE: u64 = 30 * SECOND; // A session is raised once in this time at most.
 const LOWER_PAUSE: u64 = 12 * SECOND; // A lowered session is raised no sooner.
 /// Measured ask over give beyond which playing sessions are lowered, and what they are lowered to.
@@ -30,6 +31,7 @@
 const TRUST: f64 = 0.8; // Weight of a new measurement against what was believed.
 /// Session length believed before any has ended, and the ends that this counts for.
 const FIRST_LENGTH: (f64, f64) = (30.0, 3.0);
+const FIRST_SETUP: f64 = 0.15 * SECOND as f64; // Time of a set-up believed at first.
 /// First and longest pause of a server that failed us; successes in a row that clear it.
 const BLOCK: (u64, u64) = (SECOND, 8 * SECOND);
 const CLEARING: u32 = 3;
@@ -132,6 +134,7 @@
     up: f64,
     scale: f64, // What is asked of all links over what our own sessions ask: our part, turned over.
     factor: f64,
+    own: f64, // Our sessions and their rates.
     own_kb: f64,
     each_kb: f64, // Mean rate of a session.
     own_region_kb: Vec<f64>,
@@ -143,8 +146,6 @@
     rung: u8,
     region: usize,
     server: Option<ServerId>,
-    attempts: u32,
-    flying: bool,
     playing: bool,
     closed: bool,
     ran: Option<(ServerId, Time)>, // Where and when the first attempt went that may have run.
@@ -154,10 +155,19 @@
     tried: Vec<ServerId>,
 }
 
+struct Chance(oorandom::Rand32);
+
+impl Default for Chance {
+    fn default() -> Chance {
+        Chance(oorandom::Rand32::new(0))
+    }
+}
+
 /// The decisions of one front.
+#[derive(Default)]
 pub struct Front {
     s: Settings,
-    rng: oorandom::Rand32,
+    rng: Chance,
     servers: BTreeMap<ServerId, Server>,
     sessions: BTreeMap<RequestId, Session>,
     racks: Vec<Rack>,
@@ -217,43 +227,34 @@
 /// The regions that earn most: slots for each rung (lowest first) whose rates fit `budget` and whose number
 /// fits `places`. A climb by trades of slots from each all-one-rung start, bounded in steps.
 pub fn best_regions(offered: f64, kb: &[f64], worth: &[f64], budget: f64, places: u32) -> Vec<u32> {
-    let penalty = worth.first().copied().unwrap_or(0.0);
-    let value = |n: &[u32]| benefit(offered, n, worth, penalty);
     let used = |n: &[u32]| n.iter().zip(kb).map(|(n, k)| f64::from(*n) * k).sum::<f64>();
     let fits = |n: &[u32]| used(n) <= budget + 1e-9 && n.iter().sum::<u32>() <= places;
-    let mut best = vec![0; kb.len()];
-    let mut best_value = value(&best);
-    for start in 0..kb.len() {
-        let mut n = vec![0; kb.len()];
-        n[start] = if kb[start] > 0.0 { ((budget / kb[start]).max(0.0) as u32).min(places) } else { 0 };
-        let mut current = value(&n);
-        for _ in 0..200 {
-            let mut next: Option<(f64, Vec<u32>)> = None;
-            for to in 0..kb.len() {
-                for from in 0..kb.len() {
-                    // As few slots less as make room for one more, and then as many more as fit.
-                    let mut m = n.clone();
-                    let less =
-                        if from == to { 0 } else { (kb[to] / kb[from].max(1e-9)).ceil().max(1.0) as u32 };
-                    m[from] = m[from].saturating_sub(less);
-                    while fits(&m) && m[to] < places {
-                        m[to] += 1;
-                    }
-                    m[to] -= u32::from(!fits(&m));
-                    let v = value(&m);
-                    if fits(&m) && v > current + 1e-9 && next.as_ref().is_none_or(|(b, _)| v > *b) {
-                        next = Some((v, m));
-                    }
-                }
-            }
-            let Some((v, m)) = next else { break };
-            (current, n) = (v, m);
+    let valued = |n: Vec<u32>| (benefit(offered, &n, worth, worth.first().copied().unwrap_or(0.0)), n);
+    // As few slots less of one rung as make room for one more of another, and then as many more as fit.
+    let trade = |n: &[u32], from: usize, to: usize| {
+        let mut m = n.to_vec();
+        let less = if from == to { 0.0 } else { (kb[to] / kb[from].max(1e-9)).ceil().max(1.0) };
+        m[from] = m[from].saturating_sub(less as u32);
+        while fits(&m) && m[to] < places {
+            m[to] += 1;
         }
-        if current > best_value {
-            (best_value, best) = (current, n);
+        m[to] = m[to].saturating_sub(u32::from(!fits(&m)));
+        valued(m)
+    };
+    let climb = |start: usize| {
+        let mut best = trade(&vec![0; kb.len()], start, start);
+        for _ in 0..SEARCH {
+            let pairs = (0..kb.len()).flat_map(|from| (0..kb.len()).map(move |to| (from, to)));
+            let trades = pairs.map(|(from, to)| trade(&best.1, from, to)).filter(|(_, m)| fits(m));
+            let Some(next) = trades.max_by(|a, b| a.0.total_cmp(&b.0)) else { break };
+            if next.0 <= best.0 + 1e-9 {
+                break;
+            }
+            best = next;
         }
-    }
-    best
+        best
+    };
+    (0..kb.len()).map(climb).max_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or_default().1
 }
 
 impl Front {
@@ -266,26 +267,16 @@
         settings.rung_kb.truncate(rungs);
         settings.rung_worth.truncate(rungs);
         Front {
-            rng: oorandom::Rand32::new(seed),
-            servers: BTreeMap::new(),
-            sessions: BTreeMap::new(),
+            rng: Chance(oorandom::Rand32::new(seed)),
             racks: vec![rack; settings.racks.max(1) as usize],
-            cells: BTreeMap::new(),
             tenants: settings.tenant_quota.iter().map(|_| (0.0, now)).collect(),
-            taken: VecDeque::new(),
-            extras: VecDeque::new(),
             ends: FIRST_LENGTH.1,
             seconds: FIRST_LENGTH.0 * FIRST_LENGTH.1,
-            setup: 0.15 * SECOND as f64,
-            ticked: None,
+            setup: FIRST_SETUP,
             listed: now,
-            sums: Sums::default(),
             used: (settings.rung_kb.get(rungs / 2).copied().unwrap_or(1.0), 1.0),
-            arrivals: (0.0, 0.0),
-            sizes: BTreeMap::new(),
-            mix: VecDeque::new(),
-            price: 0.0,
             s: settings,
+            ..Front::default()
         }
     }
 
@@ -384,12 +375,12 @@
             server.short = server.short.filter(|s| since(now, s.2) < 3 * SECOND);
             server.broke &= now < server.cold_until;
             self.sums.own_kb += server.use_kb;
+            self.sums.own += server.here.len() as f64;
             self.sums.own_region_kb.iter_mut().zip(&server.region_kb).for_each(|(sum, kb)| *sum += kb);
         }
         self.sums.mean_uplink = mean_heard(self.ticked, self.racks.iter().map(|r| &r.uplink));
         let there = self.servers.values().filter(|s| s.is.phase != Phase::Gone);
-        let held = self.sessions.values().filter(|s| s.server.is_some()).count() as f64;
-        self.sums.each_kb = (self.used.0 + self.sums.own_kb) / (self.used.1 + held).max(1.0);
+        self.sums.each_kb = (self.used.0 + self.sums.own_kb) / (self.used.1 + self.sums.own).max(1.0);
         let likely = self.sums.own_kb * siblings / self.s.fleet_kb.max(1.0);
         self.sums.mean = mean_heard(self.ticked, there.map(|s| &s.gauge)).unwrap_or(likely);
         for rack in &mut self.racks {
@@ -647,7 +638,7 @@
         let (alike, uplink) = (self.alike(server), &self.racks[server.rack].uplink);
         let room = (CHANCE_FILL - self.fill(server)) * server.gauge.gives / (more * alike).max(1.0);
         let above = (CHANCE_FILL - self.uplink_fill(server.rack)) * uplink.gives / (more * alike).max(1.0);
-        let acts = f64::from(self.rng.rand_float()) < room.min(above);
+        let acts = f64::from(self.rng.0.rand_float()) < room.min(above);
         (acts && rung > session.rung).then_some((usize::from(rung), rung))
     }
 
@@ -673,10 +664,7 @@
             let server = &self.servers[id];
             self.usable(now, *id, free) && !session.tried.contains(id) && self.in_group(session, server)
         });
-        for i in (1..ids.len()).rev() {
-            let j = self.rng.rand_range(0..i as u32 + 1) as usize;
-            ids.swap(i, j);
-        }
+        ids.sort_by_cached_key(|_| self.rng.0.rand_u32());
         for id in &ids {
             self.size(now, *id);
         }
@@ -685,12 +673,10 @@
                 let server = &self.servers[id];
                 let fill = self.fill(server).max(self.uplink_fill(server.rack));
                 let away = if server.is.zone != self.s.zone { self.s.cross_zone_price } else { 0.0 };
-                let (region, rung) = self.offer(&ask, *id, None)?;
-                match over_share {
-                    // Beyond its tenant's share: the lowest rung, and only where room is.
-                    true => (fill <= LOW_MARK).then_some((*id, usize::from(floor), floor, fill + away)),
-                    false => Some((*id, region, rung, fill + away)),
-                }
+                let offer = self.offer(&ask, *id, None)?;
+                // Beyond its tenant's share: the lowest rung, and only where room is.
+                let (region, rung) = if over_share { (usize::from(floor), floor) } else { offer };
+                (!over_share || fill <= LOW_MARK).then_some((*id, region, rung, fill + away))
             });
             let best = offers.min_by(|a, b| b.2.cmp(&a.2).then(a.3.total_cmp(&b.3)));
             best.map(|(id, region, rung, _)| (id, region, rung))
@@ -761,7 +747,7 @@
         steps.sort_by(|a, b| a.0.total_cmp(&b.0).then(b.3.cmp(&a.3)));
         let mut rungs = BTreeMap::new();
         for (_, saved, request, rung) in steps {
-            if need <= 0.0 || need < saved && f64::from(self.rng.rand_float()) >= need / saved {
+            if need <= 0.0 || need < saved && f64::from(self.rng.0.rand_float()) >= need / saved {
                 break;
             }
             need -= saved;
@@ -815,11 +801,10 @@
         let left = session.ask.deadline.0.saturating_sub(now.0);
         let part = (class.aim / 2).max((4.0 * self.setup) as u64);
         let timeout = if class.effect == Effect::SingleShot { 0 } else { part.min(left) };
-        session.attempts += 1;
         (session.server, session.region, session.rung) = (Some(id), region, rung);
-        (session.flying, session.waiting) = (true, now);
+        session.waiting = now;
+        self.extras.extend((!session.tried.is_empty()).then_some(now));
         session.tried.push(id);
-        self.extras.extend((session.attempts > 1).then_some(now));
         let settings = &self.s;
         self.servers.entry(id).and_modify(|s| s.next_cold = after(now, cold_interval(settings, s)));
         self.book(now, request, true);
@@ -841,7 +826,7 @@
         self.open(now, ask);
         if let Some(session) = self.sessions.get_mut(&request) {
             (session.server, session.rung, session.region) = (Some(id), floor, usize::from(floor));
-            (session.flying, session.playing, session.attempts) = (true, true, 1);
+            session.playing = true;
         }
         self.book(now, request, true);
     }
@@ -862,7 +847,7 @@
 
     fn ended(&mut self, now: Time, of: (RequestId, ServerId), end: (Outcome, bool, Report), out: &mut Out) {
         let ((request, id), (outcome, closed, report)) = (of, end);
-        let known = self.sessions.get(&request).is_some_and(|s| s.flying && s.server == Some(id));
+        let known = self.sessions.get(&request).is_some_and(|s| s.server == Some(id));
         if let Some(server) = self.servers.get_mut(&id) {
             let broke = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
             if broke && !server.broke {
@@ -881,7 +866,7 @@
             self.report(now, id, &report);
         }
         let Some(session) = self.sessions.get_mut(&request).filter(|_| known) else { return };
-        (session.flying, session.server) = (false, None);
+        session.server = None;
         let never = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
         if !never && session.ran.is_none() {
             session.ran = Some((id, session.waiting));
@@ -931,9 +916,9 @@
         }
         self.survey(now);
         // A few sessions say little of the rates of all: the fewer, the longer they are remembered.
-        let n = self.sessions.values().filter(|s| s.server.is_some()).count() as f64;
-        let kept = (-past * n / SAMPLE).exp();
-        self.used = ((self.used.0 + self.sums.own_kb * past) * kept, (self.used.1 + n * past) * kept);
+        let kept = (-past * self.sums.own / SAMPLE).exp();
+        let (kb, sessions) = (self.sums.own_kb * past, self.sums.own * past);
+        self.used = ((self.used.0 + kb) * kept, (self.used.1 + sessions) * kept);
         for rack in self.racks.iter_mut().filter(|r| !r.short) {
             rack.uplink.gives += 0.02 * (self.s.uplink_kb - rack.uplink.gives).max(0.0);
         }
@@ -956,7 +941,7 @@
         }
         let Some(session) = self.sessions.get(&request) else { return false };
         let Some(class) = self.class(session.ask.class) else { return false };
-        if session.closed || session.flying || now >= session.ask.deadline {
+        if session.closed || session.server.is_some() || now >= session.ask.deadline {
             return false;
         }
         let again = match (class.effect, session.ran) {
@@ -967,8 +952,8 @@
         let share = self.s.extra_share * self.taken.len() as f64;
         let allowed = self.s.extra_floor.map_or(f64::INFINITY, |floor| floor + share);
         again
-            && session.attempts < self.s.attempts_cap.max(1)
-            && (session.attempts == 0 || (self.extras.len() + 1) as f64 <= allowed)
+            && session.tried.len() < self.s.attempts_cap.max(1) as usize
+            && (session.tried.is_empty() || (self.extras.len() + 1) as f64 <= allowed)
     }
 
     /// A guarded class is sent again only within the group of the attempt that may have run.
@@ -983,7 +968,7 @@
 
     fn has_seat(&self, ask: &Ask) -> bool {
         let cap = self.class(ask.class).map_or(0, |c| c.seats) as usize;
-        let same = |s: &&Session| s.flying && (s.ask.class, s.ask.title) == (ask.class, ask.title);
+        let same = |s: &&Session| s.server.is_some() && (s.ask.class, s.ask.title) == (ask.class, ask.title);
         cap == 0 || self.sessions.values().filter(same).count() < cap
     }
 
