Simpler occupancy, relief and mean rate

Occupancy of a region follows the spread of all our sessions, relief takes a session down one rung for each news, the mean rate of our sessions is one figure.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -99,8 +99,7 @@
     rack: usize,
     places: f64,
     gauge: Gauge,
-    use_kb: f64, // Our sessions' rates, in all and by region, and their number.
-    region_kb: Vec<f64>,
+    use_kb: f64, // Our sessions' rates.
     here: BTreeSet<RequestId>,
     slots: Vec<u32>,
     sized: Option<Time>,
@@ -136,8 +135,7 @@
     factor: f64,
     own: f64, // Our sessions and their rates.
     own_kb: f64,
-    each_kb: f64, // Mean rate of a session.
-    own_region_kb: Vec<f64>,
+    region_kb: Vec<f64>,
 }
 
 #[derive(Default)]
@@ -181,8 +179,7 @@
     ticked: Option<Time>,
     listed: Time,
     sums: Sums,
-    /// Rates of our sessions and their number, summed over late seconds.
-    used: (f64, f64),
+    each_kb: f64, // Mean rate of late sessions of ours: the fewer, the longer they are remembered.
     /// Late requests, and the seconds they came in.
     arrivals: (f64, f64),
     sizes: BTreeMap<(i32, i32, u32), Vec<u32>>,
@@ -245,11 +242,9 @@
         let mut best = trade(&vec![0; kb.len()], start, start);
         for _ in 0..SEARCH {
             let pairs = (0..kb.len()).flat_map(|from| (0..kb.len()).map(move |to| (from, to)));
-            let trades = pairs.map(|(from, to)| trade(&best.1, from, to)).filter(|(_, m)| fits(m));
-            let Some(next) = trades.max_by(|a, b| a.0.total_cmp(&b.0)) else { break };
-            if next.0 <= best.0 + 1e-9 {
-                break;
-            }
+            let trades = pairs.map(|(from, to)| trade(&best.1, from, to));
+            let better = trades.filter(|(v, m)| *v > best.0 + 1e-9 && fits(m));
+            let Some(next) = better.max_by(|a, b| a.0.total_cmp(&b.0)) else { break };
             best = next;
         }
         best
@@ -274,7 +269,8 @@
             seconds: FIRST_LENGTH.0 * FIRST_LENGTH.1,
             setup: FIRST_SETUP,
             listed: now,
-            used: (settings.rung_kb.get(rungs / 2).copied().unwrap_or(1.0), 1.0),
+            arrivals: (0.0, COUNTED.0),
+            each_kb: settings.rung_kb.get(rungs / 2).copied().unwrap_or(1.0),
             s: settings,
             ..Front::default()
         }
@@ -335,21 +331,16 @@
             }
             self.cells.entry(server.is.cell).or_default().remove(&e.server);
             self.cells.entry(e.cell).or_default().insert(e.server);
-            server.region_kb.resize(self.s.rung_kb.len(), 0.0);
             server.slots.resize(self.s.rung_kb.len(), 0);
             server.is = e;
         }
         self.survey(now);
     }
 
-    /// A measurement of a server's link.
     fn measured(&mut self, now: Time, id: ServerId, value: f64, age: u64) {
-        let Some(server) = self.servers.get(&id) else { return };
-        let before = self.fill(server);
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.gauge.measure(now, value, age);
         server.news = true;
-        self.racks[server.rack].asked += (server.gauge.x.min(1.2) - before.min(1.2)) * server.gauge.gives;
     }
 
     fn report(&mut self, now: Time, id: ServerId, report: &Report) {
@@ -369,18 +360,19 @@
         let siblings = f64::from(self.s.siblings.max(1));
         let factors = self.mix.iter().filter_map(|(c, _)| self.class(*c)).map(|c| c.rate_factor);
         let factor = factors.sum::<f64>().max(1e-3) / self.mix.len().max(1) as f64;
-        let own_region_kb = vec![0.0; self.s.rung_kb.len()];
-        self.sums = Sums { factor, own_region_kb, ..Sums::default() };
+        let mut region_kb = vec![0.0; self.s.rung_kb.len()];
+        for s in self.sessions.values().filter(|s| s.server.is_some()) {
+            region_kb[s.region] += self.kb(s.ask.class, s.rung);
+        }
+        self.sums = Sums { factor, region_kb, ..Sums::default() };
         for server in self.servers.values_mut() {
             server.short = server.short.filter(|s| since(now, s.2) < 3 * SECOND);
             server.broke &= now < server.cold_until;
             self.sums.own_kb += server.use_kb;
             self.sums.own += server.here.len() as f64;
-            self.sums.own_region_kb.iter_mut().zip(&server.region_kb).for_each(|(sum, kb)| *sum += kb);
         }
         self.sums.mean_uplink = mean_heard(self.ticked, self.racks.iter().map(|r| &r.uplink));
         let there = self.servers.values().filter(|s| s.is.phase != Phase::Gone);
-        self.sums.each_kb = (self.used.0 + self.sums.own_kb) / (self.used.1 + self.sums.own).max(1.0);
         let likely = self.sums.own_kb * siblings / self.s.fleet_kb.max(1.0);
         self.sums.mean = mean_heard(self.ticked, there.map(|s| &s.gauge)).unwrap_or(likely);
         for rack in &mut self.racks {
@@ -451,9 +443,7 @@
         let signed = if add { kb } else { -kb };
         server.use_kb = (server.use_kb + signed).max(0.0);
         self.sums.own_kb = (self.sums.own_kb + signed).max(0.0);
-        for regions in [&mut server.region_kb, &mut self.sums.own_region_kb] {
-            regions.iter_mut().skip(region).take(1).for_each(|kb| *kb = (*kb + signed).max(0.0));
-        }
+        self.sums.region_kb.iter_mut().skip(region).take(1).for_each(|kb| *kb += signed);
         let _ = if add { server.here.insert(request) } else { server.here.remove(&request) };
         server.gauge.change(now, signed);
         self.racks[server.rack].uplink.change(now, signed);
@@ -556,7 +546,7 @@
         for _ in 0..30 {
             self.price = 0.5 * (low + high);
             let kb: f64 = ours.iter().map(|&(class, top)| self.kb(class, self.priced(class, top))).sum();
-            let over = kb * asked > room * self.sums.each_kb * ours.len() as f64;
+            let over = kb * asked > room * self.each_kb * ours.len() as f64;
             (low, high) = if over { (self.price, high) } else { (low, self.price) };
         }
         self.price = high;
@@ -586,7 +576,6 @@
         let held_kb = held.map_or(0.0, |(_, rung)| self.kb(ask.class, rung));
         let (link, uplink) = (self.fill(server), self.uplink_fill(server.rack));
         let alike = if held.is_some() { self.alike(server) } else { 1.0 };
-        let others = (link * server.gauge.gives - server.use_kb).max(0.0);
         if top < class.floor || held.is_none() && self.streams(server) + 1.0 > server.places {
             return None;
         }
@@ -605,9 +594,9 @@
             if fits(kb, LOW_MARK) && rung <= priced {
                 return Some((usize::from(rung), rung));
             }
-            let spread = self.sums.own_region_kb[region] / self.sums.own_kb.max(1.0);
+            let spread = self.sums.region_kb[region] / self.sums.own_kb.max(1.0);
             let inside = if held.is_some_and(|(r, _)| r == region) { held_kb } else { 0.0 };
-            let occupied = server.region_kb[region] + others * spread - inside;
+            let occupied = link * server.gauge.gives * spread - inside;
             let slots = (f64::from(server.slots[region]) + 0.5) * self.s.rung_kb[region] * self.sums.factor;
             (fits(kb, mark) && occupied + kb <= slots).then_some((region, rung))
         });
@@ -619,7 +608,7 @@
     /// Streams that a server is thought to run: ours, and others at the mean rate of ours.
     fn streams(&self, server: &Server) -> f64 {
         let others = (self.fill(server) * server.gauge.gives - server.use_kb).max(0.0);
-        server.here.len() as f64 + others / self.sums.each_kb.max(1.0)
+        server.here.len() as f64 + others / self.each_kb.max(1.0)
     }
 
     /// How many times over a raise of ours happens: once for each front that hears the same news, and no more
@@ -732,29 +721,24 @@
             return;
         }
         let mut need = server.use_kb * (1.0 - OVERRUN.1 / x);
-        let mut steps: Vec<(f64, f64, RequestId, u8)> = Vec::new();
-        for (request, s) in self.here(server).filter(|(_, s)| s.playing && !s.closed) {
-            let Some(class) = self.class(s.ask.class) else { continue };
-            for rung in (class.floor..s.rung).rev() {
-                let lower = usize::from(rung);
+        let here = self.here(server).filter(|(_, s)| s.playing && !s.closed);
+        let mut steps: Vec<(f64, f64, RequestId, u8)> = here
+            .filter_map(|(request, s)| {
+                let class = self.class(s.ask.class)?;
+                let lower = usize::from(s.rung.checked_sub(1).filter(|r| *r >= class.floor)?);
                 let saved = (self.s.rung_kb[lower + 1] - self.s.rung_kb[lower]) * class.rate_factor;
                 let lost = (self.s.rung_worth[lower + 1] - self.s.rung_worth[lower]) * class.worth;
-                steps.push((lost / saved.max(1e-9), saved.max(1.0), request, rung));
-            }
-        }
-        // Rungs down where they cost the least worth for what they save. The step that saves more than is
-        // needed is taken by chance: danger, each of many fronts would round its part up to a whole session.
-        steps.sort_by(|a, b| a.0.total_cmp(&b.0).then(b.3.cmp(&a.3)));
-        let mut rungs = BTreeMap::new();
+                Some((lost / saved.max(1e-9), saved, request, lower as u8))
+            })
+            .collect();
+        // A rung down where it costs the least worth for what it saves. The step that saves more than is needed
+        // is taken by chance: danger, each of many fronts would round its part up to a whole session.
+        steps.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (_, saved, request, rung) in steps {
-            if need <= 0.0 || need < saved && f64::from(self.rng.0.rand_float()) >= need / saved {
-                break;
+            if need > f64::from(self.rng.0.rand_float()) * saved {
+                self.set_rung(now, request, (usize::from(rung), rung), LOWER_PAUSE, out);
             }
             need -= saved;
-            rungs.entry(request).and_modify(|r: &mut u8| *r = (*r).min(rung)).or_insert(rung);
-        }
-        for (request, rung) in rungs {
-            self.set_rung(now, request, (usize::from(rung), rung), LOWER_PAUSE, out);
         }
         let pause = self.s.note_delay.saturating_add(SECOND);
         self.servers.entry(id).and_modify(|s| s.next_relief = after(now, pause));
@@ -771,10 +755,7 @@
         let over = self.over_share(now, ask.tenant);
         self.arrive(&ask);
         self.open(now, ask);
-        if self.arrivals.1 == 0.0 {
-            // Before any were counted, the sessions already under way stand for the arrivals.
-            let open = self.sessions.len().saturating_sub(1) as f64;
-            self.arrivals = (open / self.length() * COUNTED.0 + self.arrivals.0, COUNTED.0);
+        if self.price == 0.0 {
             self.survey(now);
             self.reprice();
         }
@@ -828,6 +809,8 @@
             (session.server, session.rung, session.region) = (Some(id), floor, usize::from(floor));
             session.playing = true;
         }
+        // Before any are counted, the sessions under way stand for the arrivals.
+        self.arrivals.0 += self.arrivals.1 / self.length();
         self.book(now, request, true);
     }
 
@@ -915,10 +898,8 @@
             out.push(Action::FetchRoster);
         }
         self.survey(now);
-        // A few sessions say little of the rates of all: the fewer, the longer they are remembered.
-        let kept = (-past * self.sums.own / SAMPLE).exp();
-        let (kb, sessions) = (self.sums.own_kb * past, self.sums.own * past);
-        self.used = ((self.used.0 + kb) * kept, (self.used.1 + sessions) * kept);
+        let weight = (self.sums.own * past / SAMPLE).min(1.0);
+        self.each_kb += weight * (self.sums.own_kb / self.sums.own.max(1.0) - self.each_kb);
         for rack in self.racks.iter_mut().filter(|r| !r.short) {
             rack.uplink.gives += 0.02 * (self.s.uplink_kb - rack.uplink.gives).max(0.0);
         }
