--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,7 +16,8 @@
 /// Bounds of the use by all fronts over our own, as multiples of their number.
 const SCALE: (f64, f64) = (0.7, 1.4);
 const STALE: f64 = 6.0; // Seconds after which a measurement begins to give way to the mean.
-const UPLINK_LEAST: f64 = 0.4; // Least part of the mean uplink that short deliveries may make us believe in.
+const SHORT_LASTS: u64 = 3 * SECOND; // A short delivery is over when not told for this time.
+const UNLIKE_LINK: f64 = 0.93; // Asked times delivered, below which the link is not what falls short.
 const RESIZE: u64 = 10 * SECOND; // Regions are sized anew after this time.
 /// Arrivals are counted over this time, or over what so many arrivals take.
 const COUNTED: (f64, f64) = (15.0, 10.0);
@@ -109,7 +110,7 @@
     block: u64,
     doubts: u32,
     broke: bool,
-    short: Option<(f64, Time, Time)>, // Share delivered while it is short, since when, and when last told.
+    short: Option<(Time, Time)>, // Since when it delivers short, and when that was last told.
     failed: Time,
     cold_until: Time,
     next_cold: Time,
@@ -122,7 +123,6 @@
     uplink: Gauge,
     links: f64,
     asked: f64,
-    short: bool,
 }
 
 /// Sums over all servers, taken each second and kept up in between, so that no event scans the fleet.
@@ -366,7 +366,6 @@
         }
         self.sums = Sums { factor, region_kb, ..Sums::default() };
         for server in self.servers.values_mut() {
-            server.short = server.short.filter(|s| since(now, s.2) < 3 * SECOND);
             server.broke &= now < server.cold_until;
             self.sums.own_kb += server.use_kb;
             self.sums.own += server.here.len() as f64;
@@ -376,12 +375,11 @@
         let likely = self.sums.own_kb * siblings / self.s.fleet_kb.max(1.0);
         self.sums.mean = mean_heard(self.ticked, there.map(|s| &s.gauge)).unwrap_or(likely);
         for rack in &mut self.racks {
-            (rack.links, rack.asked, rack.short) = (0.0, 0.0, false);
+            (rack.links, rack.asked) = (0.0, 0.0);
         }
         for server in self.servers.values() {
             let asked = self.fill(server).min(1.2) * server.gauge.gives;
             let rack = &mut self.racks[server.rack];
-            rack.short |= server.short.is_some();
             if server.is_up() {
                 self.sums.up += 1.0;
                 rack.links += server.gauge.gives;
@@ -467,30 +465,18 @@
         self.relieve(now, id, out);
     }
 
-    /// What a short delivery is laid to, once a note of the link has come since it began: the link if that is
-    /// asked too much, the uplink if another server of the rack falls short alike, else the server itself.
+    /// A short delivery is laid to the link, unless a note of the link has come since it began and tells of room.
     fn delivered(&mut self, now: Time, id: ServerId, share: f64) {
         let Some(server) = self.servers.get_mut(&id) else { return };
-        let began = server.short.filter(|s| since(now, s.2) < 3 * SECOND).map_or(now, |s| s.1);
-        server.short = (share < 0.98).then_some((share, began, now));
+        let began = server.short.filter(|s| since(now, s.1) < SHORT_LASTS).map_or(now, |s| s.0);
+        server.short = (share < 0.98).then_some((began, now));
         if !share.is_finite() || share >= 0.98 {
             return;
         }
-        let rack = server.rack;
-        let unlike_link = |s: &Server| {
-            s.short.is_some_and(|(v, began, at)| {
-                let told = s.gauge.heard.is_some_and(|t| t > began);
-                told && since(now, at) < 2 * SECOND && (v - share).abs() < 0.1 && s.gauge.x * v < 0.93
-            })
-        };
-        if !unlike_link(server) {
+        let told = server.gauge.heard.is_some_and(|t| t > began);
+        if !told || server.gauge.x * share > UNLIKE_LINK {
             server.gauge.x = server.gauge.x.max(1.0 / share.max(0.3));
-        } else if self.rack_mates(rack).any(|i| i != id && unlike_link(&self.servers[&i])) {
-            // Without reports of the uplink, what it gives is learnt from what it fails to deliver.
-            let gives = (self.racks[rack].asked * share).max(UPLINK_LEAST * self.s.uplink_kb).max(1.0);
-            let uplink = &mut self.racks[rack].uplink;
-            uplink.gives += if uplink.heard.is_none() { 0.5 * (gives - uplink.gives) } else { 0.0 };
-        } else if let Some(server) = self.servers.get_mut(&id).filter(|_| share < 0.75) {
+        } else if share < 0.75 {
             // Danger: a server that hangs or delivers too little for its own cause still takes set-ups.
             server.trouble(now);
         }
@@ -503,11 +489,6 @@
         self.seconds / self.ends.max(1.0)
     }
 
-    fn rack_mates(&self, rack: usize) -> impl Iterator<Item = ServerId> + '_ {
-        let here = move |cell: u16| usize::from(cell) % self.racks.len() == rack;
-        self.cells.iter().filter(move |(c, _)| here(**c)).flat_map(|(_, ids)| ids).copied()
-    }
-
     /// Sizes a link's regions for its late arrivals when it is looked at and the last sizing is old: the work
     /// is spread over time. A server's own count weighs as much as the mean once it expects one arrival.
     fn size(&mut self, now: Time, id: ServerId) {
@@ -580,9 +561,6 @@
             return None;
         }
         let priced = self.priced(ask.class, top);
-        // Danger: raises up to a rough or unreported limit, which relief then takes back at a price each.
-        let told = self.racks[server.rack].uplink.heard.is_some();
-        let mark = if held.is_some() && !told { LOW_MARK } else { HEADROOM };
         let fits = |kb: f64, mark: f64| {
             let more = kb - held_kb;
             link + more * alike / server.gauge.gives <= mark
@@ -598,7 +576,7 @@
             let inside = if held.is_some_and(|(r, _)| r == region) { held_kb } else { 0.0 };
             let occupied = link * server.gauge.gives * spread - inside;
             let slots = (f64::from(server.slots[region]) + 0.5) * self.s.rung_kb[region] * self.sums.factor;
-            (fits(kb, mark) && occupied + kb <= slots).then_some((region, rung))
+            (fits(kb, HEADROOM) && occupied + kb <= slots).then_some((region, rung))
         });
         // Regions lag and rates are rough: while the link is measured to have room, the lowest rung goes.
         let room = held.is_none() && fits(self.kb(ask.class, class.floor), HEADROOM);
@@ -900,9 +878,6 @@
         self.survey(now);
         let weight = (self.sums.own * past / SAMPLE).min(1.0);
         self.each_kb += weight * (self.sums.own_kb / self.sums.own.max(1.0) - self.each_kb);
-        for rack in self.racks.iter_mut().filter(|r| !r.short) {
-            rack.uplink.gives += 0.02 * (self.s.uplink_kb - rack.uplink.gives).max(0.0);
-        }
         self.reprice();
         let held = self.servers.iter().filter(|(_, s)| !s.here.is_empty());
         let ids: Vec<_> = held.map(|(id, _)| *id).collect();
