--- a/src/choice.rs
+++ b/src/choice.rs
@@ -561,6 +561,8 @@
             return None;
         }
         let priced = self.priced(ask.class, top);
+        // Danger: raises up to a rough limit are taken back by relief, at a price each.
+        let mark = if held.is_some() { LOW_MARK } else { HEADROOM };
         let fits = |kb: f64, mark: f64| {
             let more = kb - held_kb;
             link + more * alike / server.gauge.gives <= mark
@@ -576,7 +578,7 @@
             let inside = if held.is_some_and(|(r, _)| r == region) { held_kb } else { 0.0 };
             let occupied = link * server.gauge.gives * spread - inside;
             let slots = (f64::from(server.slots[region]) + 0.5) * self.s.rung_kb[region] * self.sums.factor;
-            (fits(kb, HEADROOM) && occupied + kb <= slots).then_some((region, rung))
+            (fits(kb, mark) && occupied + kb <= slots).then_some((region, rung))
         });
         // Regions lag and rates are rough: while the link is measured to have room, the lowest rung goes.
         let room = held.is_none() && fits(self.kb(ask.class, class.floor), HEADROOM);
