--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,6 +16,8 @@
 /// Bounds of the use by all fronts over our own, as multiples of their number.
 const SCALE: (f64, f64) = (0.7, 1.4);
 const STALE: f64 = 6.0; // Seconds after which a measurement begins to give way to the mean.
+const UTIL_STOPS: f64 = 0.97; // Reports of a link's use that stop at 1 say little from here on.
+const REPORT_AGE: u64 = SECOND / 3; // Usual age of a load report.
 const SHORT_LASTS: u64 = 3 * SECOND; // A short delivery is over when not told for this time.
 const UNLIKE_LINK: f64 = 0.93; // Asked times delivered, below which the link is not what falls short.
 const RESIZE: u64 = 10 * SECOND; // Regions are sized anew after this time.
@@ -36,11 +38,9 @@
 /// First and longest pause of a server that failed us; successes in a row that clear it.
 const BLOCK: (u64, u64) = (SECOND, 8 * SECOND);
 const CLEARING: u32 = 3;
-/// A tenant's rate over its share, the seconds of it, and the requests more that chance may bring at once, that
-/// still count as within it.
+/// Within a tenant's share still: its rate over that, seconds of it at once, requests that chance may add.
 const TENANT: (f64, f64, f64) = (1.15, 3.0, 4.0);
-/// Part of the pace that may push over a cold server which the fronts use: those told of its start and those
-/// who saw it break keep turns of their own, so that the sum of both must fit.
+/// Part of the pace that pushes over a cold server: turns from its start and from its break must fit together.
 const COLD_PART: f64 = 0.5;
 
 /// Belief about what is asked of a link or uplink over what it gives.
@@ -211,13 +211,10 @@
 
 /// Eq. 1 over the mean session length: the worth that regions of `slots` (lowest rung first) earn a second.
 pub fn benefit(offered: f64, slots: &[u32], worth: &[f64], penalty: f64) -> f64 {
-    let mut spilled = offered;
-    let mut sum = 0.0;
-    for (n, w) in slots.iter().zip(worth).rev() {
+    let (sum, spilled) = slots.iter().zip(worth).rev().fold((0.0, offered), |(sum, spilled), (n, w)| {
         let lost = spilled * erlang_b(spilled, *n);
-        sum += (spilled - lost) * w;
-        spilled = lost;
-    }
+        (sum + (spilled - lost) * w, lost)
+    });
     sum - penalty * spilled
 }
 
@@ -337,20 +334,13 @@
         self.survey(now);
     }
 
-    fn measured(&mut self, now: Time, id: ServerId, value: f64, age: u64) {
-        let Some(server) = self.servers.get_mut(&id) else { return };
-        server.gauge.measure(now, value, age);
-        server.news = true;
-    }
-
     fn report(&mut self, now: Time, id: ServerId, report: &Report) {
-        let Some(rack) = self.servers.get(&id).map(|s| s.rack) else { return };
+        let Some(server) = self.servers.get_mut(&id) else { return };
         for &(field, value) in report {
             match field {
-                LoadField::LinkAsked => self.measured(now, id, value, SECOND / 3),
-                LoadField::LinkUtil if value < 0.97 => self.measured(now, id, value, SECOND / 3),
-                LoadField::LinkUtil => self.servers.entry(id).or_default().full(1.0),
-                LoadField::UplinkAsked => self.racks[rack].uplink.measure(now, value, SECOND / 3),
+                LoadField::LinkUtil if value >= UTIL_STOPS => server.gauge.x = server.gauge.x.max(1.0),
+                LoadField::LinkAsked | LoadField::LinkUtil => server.measure(now, value, REPORT_AGE),
+                LoadField::UplinkAsked => self.racks[server.rack].uplink.measure(now, value, REPORT_AGE),
                 _ => {}
             }
         }
@@ -362,7 +352,7 @@
         let factor = factors.sum::<f64>().max(1e-3) / self.mix.len().max(1) as f64;
         let mut region_kb = vec![0.0; self.s.rung_kb.len()];
         for s in self.sessions.values().filter(|s| s.server.is_some()) {
-            region_kb[s.region] += self.kb(s.ask.class, s.rung);
+            region_kb.iter_mut().skip(s.region).take(1).for_each(|kb| *kb += self.kb(s.ask.class, s.rung));
         }
         self.sums = Sums { factor, region_kb, ..Sums::default() };
         for server in self.servers.values_mut() {
@@ -374,9 +364,7 @@
         let there = self.servers.values().filter(|s| s.is.phase != Phase::Gone);
         let likely = self.sums.own_kb * siblings / self.s.fleet_kb.max(1.0);
         self.sums.mean = mean_heard(self.ticked, there.map(|s| &s.gauge)).unwrap_or(likely);
-        for rack in &mut self.racks {
-            (rack.links, rack.asked) = (0.0, 0.0);
-        }
+        self.racks.iter_mut().for_each(|r| (r.links, r.asked) = (0.0, 0.0));
         for server in self.servers.values() {
             let asked = self.fill(server).min(1.2) * server.gauge.gives;
             let rack = &mut self.racks[server.rack];
@@ -391,8 +379,7 @@
         self.sums.scale = seen.clamp(SCALE.0 * siblings, SCALE.1 * siblings).max(1.0);
     }
 
-    /// Fill of a server's link. Unheard links count as the mean, the low mark at most: they must be tried to be
-    /// heard.
+    /// Fill of a server's link. Unheard ones count as the mean, 0.8 at most: to be heard they must be tried.
     fn fill(&self, server: &Server) -> f64 {
         let own = server.use_kb / server.gauge.gives;
         server.gauge.faded(self.ticked, self.sums.mean.min(LOW_MARK)).max(own)
@@ -401,10 +388,8 @@
     /// Fill of a rack's uplink; where uplinks are not reported, what its links ask.
     fn uplink_fill(&self, rack: usize) -> f64 {
         let rack = &self.racks[rack];
-        match self.sums.mean_uplink {
-            Some(mean) => rack.uplink.faded(self.ticked, mean.min(LOW_MARK)),
-            None => rack.asked.max(0.0) / rack.uplink.gives,
-        }
+        let told = |mean: f64| rack.uplink.faded(self.ticked, mean.min(LOW_MARK));
+        self.sums.mean_uplink.map_or(rack.asked / rack.uplink.gives, told)
     }
 
     fn here<'a>(&'a self, server: &'a Server) -> impl Iterator<Item = (RequestId, &'a Session)> + 'a {
@@ -426,16 +411,16 @@
 
     /// Books a session's rate at its server; viewers of a live title share a stream.
     fn book(&mut self, now: Time, request: RequestId, add: bool) {
-        let Some((session, id)) = self.sessions.get(&request).and_then(|s| Some((s, s.server?))) else {
+        let Some(session) = self.sessions.get(&request) else { return };
+        let Some((id, server)) = session.server.and_then(|id| Some((id, self.servers.get(&id)?))) else {
             return;
         };
         let (class, rung, region) = (session.ask.class, session.rung, session.region);
         let mut kb = self.kb(class, rung);
         if self.class(class).is_some_and(|c| c.live) {
-            let like = |s: &Session| (s.ask.title, s.ask.class, s.rung);
-            let mut others =
-                self.servers.get(&id).into_iter().flat_map(|s| &s.here).filter(|r| **r != request);
-            kb *= if others.any(|r| like(&self.sessions[r]) == like(session)) { self.s.join } else { 1.0 };
+            let like = |s: &Session| (s.ask.title, s.ask.class, s.rung) == (session.ask.title, class, rung);
+            let shared = self.here(server).any(|(r, s)| r != request && like(s));
+            kb *= if shared { self.s.join } else { 1.0 };
         }
         let Some(server) = self.servers.get_mut(&id) else { return };
         let signed = if add { kb } else { -kb };
@@ -458,7 +443,7 @@
                 let rung = rung.min(self.last_rung());
                 self.place(now, request, (usize::from(rung), rung));
             }
-            Note::Link(x) => self.measured(now, id, x, age),
+            Note::Link(x) => drop(self.servers.entry(id).and_modify(|s| s.measure(now, x, age))),
             Note::Uplink(x) => self.racks[rack].uplink.measure(now, x, age),
             Note::Delivered(share) => self.delivered(now, id, share),
         }
@@ -489,8 +474,8 @@
         self.seconds / self.ends.max(1.0)
     }
 
-    /// Sizes a link's regions for its late arrivals when it is looked at and the last sizing is old: the work
-    /// is spread over time. A server's own count weighs as much as the mean once it expects one arrival.
+    /// Sizes a link's regions when it is looked at and their sizing is old, so that the work is spread.
+    /// Its own count of arrivals weighs as much as the mean once it expects one.
     fn size(&mut self, now: Time, id: ServerId) {
         let mean = self.arrivals.0 / self.sums.up.max(1.0);
         let load = mean / self.arrivals.1.max(1.0) * self.sums.scale * self.length();
@@ -512,8 +497,8 @@
         server.slots.clone_from(self.sizes.entry(key).or_insert_with(size));
     }
 
-    /// The worth of a kB at which all sessions, each at its best rung, would just fill the links: what is
-    /// measured to be asked is taken to grow as our own rates would, so that rough rates cancel out.
+    /// The worth of a kB at which all sessions would just fill the links. What is asked is taken to grow as our
+    /// own rates would, so that rough rates cancel out.
     fn reprice(&mut self) {
         let asked: f64 =
             (0..self.racks.len()).map(|r| self.uplink_fill(r) * self.racks[r].uplink.gives).sum();
@@ -536,7 +521,8 @@
     /// The rung that earns a class most at the present price.
     fn priced(&self, class: u8, top: u8) -> u8 {
         let Some(c) = self.class(class) else { return 0 };
-        let earns = |r: u8| c.worth * self.s.rung_worth[usize::from(r)] - self.price * self.kb(class, r);
+        let worth = |r: u8| self.s.rung_worth.get(usize::from(r)).copied().unwrap_or(0.0);
+        let earns = |r: u8| c.worth * worth(r) - self.price * self.kb(class, r);
         let last = top.min(c.top).min(self.last_rung());
         (c.floor..=last).fold(c.floor, |best, r| if earns(r) > earns(best) { r } else { best })
     }
@@ -591,15 +577,13 @@
         server.here.len() as f64 + others / self.each_kb.max(1.0)
     }
 
-    /// How many times over a raise of ours happens: once for each front that hears the same news, and no more
-    /// fronts hear it than streams run there.
+    /// How often a raise of ours happens: once a front that hears the same news, a stream there at most.
     fn alike(&self, server: &Server) -> f64 {
         self.streams(server).min(f64::from(self.s.siblings)).max(1.0)
     }
 
-    /// Departure: a raise to the priced rung that would not fit if all did alike is made with the probability
-    /// at which the raises of all fill the room. Danger: among many fronts, each with a session or two on a
-    /// link, nothing would ever be raised. Harm: by chance, too many may act; relief takes that back.
+    /// Departure: a raise that would not fit if all did alike is made with the probability that fills the room.
+    /// Danger: many fronts with a session each raise nothing. Harm: by chance too many act; relief follows.
     fn lucky(&mut self, id: ServerId, request: RequestId) -> Option<(usize, u8)> {
         let (server, session) = (self.servers.get(&id)?, self.sessions.get(&request)?);
         let rung = self.priced(session.ask.class, session.ask.top);
@@ -634,9 +618,7 @@
             self.usable(now, *id, free) && !session.tried.contains(id) && self.in_group(session, server)
         });
         ids.sort_by_cached_key(|_| self.rng.0.rand_u32());
-        for id in &ids {
-            self.size(now, *id);
-        }
+        ids.iter().for_each(|id| self.size(now, *id));
         ids.chunks(2).find_map(|pair| {
             let offers = pair.iter().filter_map(|id| {
                 let server = &self.servers[id];
@@ -670,13 +652,7 @@
             let sure = self.offer(&session.ask, id, Some(held)).filter(|(_, rung)| *rung > held.1);
             let offer = sure.or_else(|| self.lucky(id, request).filter(|_| news));
             let Some((region, rung)) = offer else { continue };
-            let Some(session) = self.sessions.get(&request) else { continue };
-            let watched = seconds(now, session.started);
-            let left = session.ask.hint.map_or(self.length(), |h| h as f64 / SECOND as f64 - watched);
-            let gain = self.s.rung_worth[usize::from(rung)] - self.s.rung_worth[usize::from(held.1)];
-            if gain * left > self.s.switch_seconds {
-                self.set_rung(now, request, (region, rung), RAISE_PAUSE, out);
-            }
+            self.set_rung(now, request, (region, rung), RAISE_PAUSE, out);
         }
     }
 
@@ -750,9 +726,8 @@
         let chosen = if may { self.choose(now, request, over_share) } else { None };
         let Some(session) = self.sessions.get_mut(&request) else { return };
         let Some((id, region, rung)) = chosen else {
-            let class = self.s.classes.get(usize::from(session.ask.class));
-            let harmless =
-                class.is_none_or(|c| matches!(c.effect, Effect::Free | Effect::Guarded(Group::All)));
+            let effect = self.s.classes.get(usize::from(session.ask.class)).map(|c| c.effect);
+            let harmless = matches!(effect, None | Some(Effect::Free | Effect::Guarded(Group::All)));
             let reject = Action::Reject { request, stay_away: self.s.stay_away_cap };
             out.push(if harmless || session.ran.is_none() { reject } else { Action::Fail(request) });
             self.sessions.remove(&request);
@@ -783,6 +758,9 @@
 
     fn adopted(&mut self, now: Time, ask: Ask, id: ServerId) {
         let request = ask.request;
+        if self.sessions.contains_key(&request) {
+            return;
+        }
         let floor = self.class(ask.class).map_or(0, |c| c.floor);
         self.open(now, ask);
         if let Some(session) = self.sessions.get_mut(&request) {
@@ -821,7 +799,7 @@
             if broke || matches!(outcome, Outcome::Error | Outcome::Timeout) {
                 server.trouble(now);
             } else if outcome == Outcome::Full {
-                server.full(self.s.server_guard.min(1.0));
+                server.gauge.x = server.gauge.x.max(self.s.server_guard.min(1.0));
             }
         }
         if known {
@@ -864,12 +842,12 @@
         if now <= last {
             return;
         }
-        let playing = self.sessions.values().filter(|s| s.playing).count() as f64;
-        self.seconds += playing * seconds(now, last);
+        let past = seconds(now, last);
+        self.seconds += past * self.sessions.values().filter(|s| s.playing).count() as f64;
         self.ticked = Some(now);
         out.push(Action::Wake { at: after(now, SECOND), token: 0 });
         // The count forgets as time goes by, the slower the fewer arrivals there are.
-        let (past, rate) = (seconds(now, last), self.arrivals.0 / self.arrivals.1.max(1.0));
+        let rate = self.arrivals.0 / self.arrivals.1.max(1.0);
         let kept = (-past * (1.0 / COUNTED.0).min(rate / COUNTED.1)).exp();
         self.arrivals = (self.arrivals.0 * kept, self.arrivals.1 * kept + past);
         self.servers.values_mut().for_each(|s| s.arrivals *= kept);
@@ -883,15 +861,12 @@
         self.reprice();
         let held = self.servers.iter().filter(|(_, s)| !s.here.is_empty());
         let ids: Vec<_> = held.map(|(id, _)| *id).collect();
-        for id in ids {
-            self.raise(now, id, out);
-        }
+        ids.into_iter().for_each(|id| self.raise(now, id, out));
     }
 
     // ---- guards ----
 
-    /// Whether a further attempt breaks nothing: one at a time, in time, within the caps, and never again for
-    /// a class set up once whose attempt may have run.
+    /// Whether an attempt breaks nothing: one at a time, in time, within caps, never twice where it may have run.
     fn may_attempt(&mut self, now: Time, request: RequestId) -> bool {
         let window = now.0.saturating_sub(self.s.extra_window);
         for times in [&mut self.taken, &mut self.extras] {
@@ -950,9 +925,8 @@
     (f64::from(s.siblings.max(1)) / pace.max(1e-12)) as u64
 }
 
-/// This front's first turn at a server that started: the fronts' turns are spread evenly over the interval, in
-/// an order that differs from server to server. Danger: all fronts hear of a start at once, and a turn each
-/// within a second pushes it over. Harm: many fronts leave a cold server idle until it is warm.
+/// This front's first turn at a server that started: turns are spread evenly over the interval of all fronts.
+/// Danger: all hear of a start at once and push it over. Harm: many fronts leave a cold server idle.
 fn turn(s: &Settings, server: &Server, id: ServerId, start: Time, now: Time) -> Time {
     let (siblings, interval) = (u64::from(s.siblings.max(1)), cold_interval(s, server).max(1));
     let place = (u64::from(s.index) + u64::from(id.0)) % siblings;
@@ -966,8 +940,9 @@
         self.is.phase == Phase::Ready && !self.broke
     }
 
-    fn full(&mut self, least: f64) {
-        self.gauge.x = self.gauge.x.max(least);
+    fn measure(&mut self, now: Time, value: f64, age: u64) {
+        self.gauge.measure(now, value, age);
+        self.news = true;
     }
 
     /// A failure: pause, longer each time; then trials by free classes until several succeed in a row.
