--- a/src/choice.rs
+++ b/src/choice.rs
@@ -13,8 +13,6 @@
 const LOW_MARK: f64 = 0.8; // Below this part of link and uplink a session gets the highest rung that fits.
 const PRICED_FILL: f64 = 0.8; // Part of the links that the expected sessions are priced to fill.
 const CHANCE_FILL: f64 = 0.7; // Part of link and uplink that raises by chance fill.
-/// Bounds of the use by all fronts over our own, as multiples of their number.
-const SCALE: (f64, f64) = (0.7, 1.4);
 const STALE: f64 = 6.0; // Seconds after which a measurement begins to give way to the mean.
 const UTIL_STOPS: f64 = 0.97; // Reports of a link's use that stop at 1 say little from here on.
 const REPORT_AGE: u64 = SECOND / 3; // Usual age of a load report.
@@ -28,6 +26,7 @@
 const ALIKE: (f64, f64) = (0.2, 0.05);
 const SEARCH: usize = 200; // Trades of slots at most in a climb.
 const RAISE_PAUSE: u64 = 30 * SECOND; // A session is raised once in this time at most.
+const REPAID: f64 = 6.0; // A raise must be watched for so many times what a change of rung costs.
 const LOWER_PAUSE: u64 = 12 * SECOND; // A lowered session is raised no sooner.
 /// Measured ask over give beyond which playing sessions are lowered, and what they are lowered to.
 const OVERRUN: (f64, f64) = (1.03, 0.95);
@@ -131,7 +130,6 @@
     mean_uplink: Option<f64>,
     mean: f64, // Fill of the servers heard; before any was, what our own sessions make likely.
     up: f64,
-    scale: f64, // What is asked of all links over what our own sessions ask: our part, turned over.
     factor: f64,
     own: f64, // Our sessions and their rates.
     own_kb: f64,
@@ -374,9 +372,6 @@
                 rack.asked += asked;
             }
         }
-        let all: f64 = self.racks.iter().map(|r| r.asked).sum();
-        let seen = if self.sums.own_kb > 0.0 { all / self.sums.own_kb } else { siblings };
-        self.sums.scale = seen.clamp(SCALE.0 * siblings, SCALE.1 * siblings).max(1.0);
     }
 
     /// Fill of a server's link. Unheard ones count as the mean, 0.8 at most: to be heard they must be tried.
@@ -478,7 +473,7 @@
     /// Its own count of arrivals weighs as much as the mean once it expects one.
     fn size(&mut self, now: Time, id: ServerId) {
         let mean = self.arrivals.0 / self.sums.up.max(1.0);
-        let load = mean / self.arrivals.1.max(1.0) * self.sums.scale * self.length();
+        let load = mean / self.arrivals.1.max(1.0) * f64::from(self.s.siblings.max(1)) * self.length();
         let Some(server) = self.servers.get_mut(&id) else { return };
         if server.sized.is_some_and(|t| since(now, t) < RESIZE) {
             return;
@@ -641,7 +636,10 @@
         let fit = |s: &&Server| s.is.phase != Phase::Gone && now >= s.blocked;
         let Some(server) = self.servers.get(&id).filter(fit) else { return };
         let news = server.news;
-        let ready = self.here(server).filter(|(_, s)| s.playing && now >= s.hold && !s.closed);
+        let left =
+            |s: &Session| s.ask.hint.map_or(f64::MAX, |h| h as f64 / SECOND as f64 - seconds(now, s.started));
+        let repaid = |s: &Session| left(s) > REPAID * self.s.switch_seconds;
+        let ready = self.here(server).filter(|(_, s)| s.playing && now >= s.hold && !s.closed && repaid(s));
         let mut waiting: Vec<_> = ready.map(|(r, s)| (std::cmp::Reverse(s.region), s.waiting, r)).collect();
         self.size(now, id);
         self.servers.entry(id).and_modify(|s| s.news = false);
