--- a/src/choice.rs
+++ b/src/choice.rs
@@ -13,46 +13,39 @@
 const LOW_MARK: f64 = 0.8; // Below this part of link and uplink a session gets the highest rung that fits.
 const PRICED_FILL: f64 = 0.8; // Part of the links that the expected sessions are priced to fill.
 const CHANCE_FILL: f64 = 0.7; // Part of link and uplink that raises by chance fill.
+const SCALE: (f64, f64) = (0.7, 1.4); // Bounds of the use by all over ours, times the number of fronts.
 const STALE: f64 = 6.0; // Seconds after which a measurement begins to give way to the mean.
 const UTIL_STOPS: f64 = 0.97; // Reports of a link's use that stop at 1 say little from here on.
 const REPORT_AGE: u64 = SECOND / 3; // Usual age of a load report.
 const SHORT_LASTS: u64 = 3 * SECOND; // A short delivery is over when not told for this time.
 const UNLIKE_LINK: f64 = 0.93; // Asked times delivered, below which the link is not what falls short.
 const RESIZE: u64 = 10 * SECOND; // Regions are sized anew after this time.
-/// Arrivals are counted over this time, or over what so many arrivals take.
-const COUNTED: (f64, f64) = (15.0, 10.0);
+const COUNTED: (f64, f64) = (15.0, 10.0); // Arrivals count for these seconds, or until so many have come.
 const SAMPLE: f64 = 30.0; // Sessions that stand for all well enough.
-/// Steps, as parts, within which links count as equal when they are sized: arrivals, room.
-const ALIKE: (f64, f64) = (0.2, 0.05);
+const ALIKE: (f64, f64) = (0.2, 0.05); // Links this close in arrivals and room are sized alike.
 const SEARCH: usize = 200; // Trades of slots at most in a climb.
 const RAISE_PAUSE: u64 = 30 * SECOND; // A session is raised once in this time at most.
 const REPAID: f64 = 6.0; // A raise must be watched for so many times what a change of rung costs.
 const LOWER_PAUSE: u64 = 12 * SECOND; // A lowered session is raised no sooner.
-/// Measured ask over give beyond which playing sessions are lowered, and what they are lowered to.
-const OVERRUN: (f64, f64) = (1.03, 0.95);
+const OVERRUN: (f64, f64) = (1.03, 0.95); // Asked over given beyond which sessions are lowered, and to what.
 const TRUST: f64 = 0.8; // Weight of a new measurement against what was believed.
-/// Session length believed before any has ended, and the ends that this counts for.
-const FIRST_LENGTH: (f64, f64) = (30.0, 3.0);
+const FIRST_LENGTH: (f64, f64) = (30.0, 3.0); // Length believed at first, and the ends that it counts for.
 const FIRST_SETUP: f64 = 0.15 * SECOND as f64; // Time of a set-up believed at first.
-/// First and longest pause of a server that failed us; successes in a row that clear it.
-const BLOCK: (u64, u64) = (SECOND, 8 * SECOND);
-const CLEARING: u32 = 3;
+const BLOCK: (u64, u64) = (SECOND, 8 * SECOND); // First and longest pause of a server that failed us.
+const CLEARING: u32 = 3; // Successes in a row that clear it.
 /// Within a tenant's share still: its rate over that, seconds of it at once, requests that chance may add.
 const TENANT: (f64, f64, f64) = (1.15, 3.0, 4.0);
-/// Part of the pace that pushes over a cold server: turns from its start and from its break must fit together.
-const COLD_PART: f64 = 0.5;
+const COLD_PART: f64 = 0.5; // Part of the pace that pushes over: turns from start and from break must fit.
 
-/// Belief about what is asked of a link or uplink over what it gives.
 #[derive(Clone, Default)]
 struct Gauge {
-    gives: f64,
+    gives: f64, // What a link or uplink gives, and belief of what is asked over that.
     x: f64,
     heard: Option<Time>,
     own: VecDeque<(Time, f64)>,
 }
 
 impl Gauge {
-    /// Our own change, as a part of what is given.
     fn change(&mut self, now: Time, kb: f64) {
         let part = kb / self.gives;
         self.x = (self.x + part).max(0.0);
@@ -74,7 +67,6 @@
 }
 
 impl Gauge {
-    /// How much the last measurement still counts.
     fn fresh(&self, now: Option<Time>) -> f64 {
         let old = |heard| (seconds(now.unwrap_or_default(), heard) - STALE).max(0.0) / STALE;
         self.heard.map_or(0.0, |heard| (-old(heard)).exp())
@@ -86,7 +78,6 @@
     }
 }
 
-/// Mean of the gauges that were heard, late news first.
 fn mean_heard<'a>(now: Option<Time>, gauges: impl Iterator<Item = &'a Gauge>) -> Option<f64> {
     let add = |(n, sum), (weight, x)| (n + weight, sum + weight * x);
     let (n, sum) = gauges.map(|g| (g.fresh(now), g.x)).fold((0.0, 0.0), add);
@@ -116,7 +107,6 @@
     next_relief: Time,
 }
 
-/// A rack's uplink, and sums over its servers.
 #[derive(Clone, Default)]
 struct Rack {
     uplink: Gauge,
@@ -130,6 +120,7 @@
     mean_uplink: Option<f64>,
     mean: f64, // Fill of the servers heard; before any was, what our own sessions make likely.
     up: f64,
+    scale: f64, // What is asked of all links over what our own sessions ask: our part, turned over.
     factor: f64,
     own: f64, // Our sessions and their rates.
     own_kb: f64,
@@ -140,7 +131,6 @@
 struct Session {
     ask: Ask,
     rung: u8,
-    region: usize,
     server: Option<ServerId>,
     playing: bool,
     closed: bool,
@@ -178,8 +168,7 @@
     listed: Time,
     sums: Sums,
     each_kb: f64, // Mean rate of late sessions of ours: the fewer, the longer they are remembered.
-    /// Late requests, and the seconds they came in.
-    arrivals: (f64, f64),
+    arrivals: (f64, f64), // Late requests, and the seconds they came in.
     sizes: BTreeMap<(i32, i32, u32), Vec<u32>>,
     mix: VecDeque<(u8, u8)>, // Classes and best rungs of late requests.
     price: f64,              // What a kB a second is worth to our sessions.
@@ -249,10 +238,9 @@
 
 impl Front {
     /// A front that has heard nothing yet.
-    pub fn new(settings: Settings, seed: u64, now: Time) -> Front {
+    pub fn new(mut settings: Settings, seed: u64, now: Time) -> Front {
         let uplink = Gauge { gives: settings.uplink_kb.max(1.0), ..Gauge::default() };
         let rack = Rack { uplink, ..Rack::default() };
-        let mut settings = settings;
         let rungs = settings.rung_kb.len().min(settings.rung_worth.len()).min(256);
         settings.rung_kb.truncate(rungs);
         settings.rung_worth.truncate(rungs);
@@ -350,7 +338,8 @@
         let factor = factors.sum::<f64>().max(1e-3) / self.mix.len().max(1) as f64;
         let mut region_kb = vec![0.0; self.s.rung_kb.len()];
         for s in self.sessions.values().filter(|s| s.server.is_some()) {
-            region_kb.iter_mut().skip(s.region).take(1).for_each(|kb| *kb += self.kb(s.ask.class, s.rung));
+            let add = self.kb(s.ask.class, s.rung);
+            region_kb.iter_mut().skip(usize::from(s.rung)).take(1).for_each(|kb| *kb += add);
         }
         self.sums = Sums { factor, region_kb, ..Sums::default() };
         for server in self.servers.values_mut() {
@@ -363,15 +352,16 @@
         let likely = self.sums.own_kb * siblings / self.s.fleet_kb.max(1.0);
         self.sums.mean = mean_heard(self.ticked, there.map(|s| &s.gauge)).unwrap_or(likely);
         self.racks.iter_mut().for_each(|r| (r.links, r.asked) = (0.0, 0.0));
-        for server in self.servers.values() {
+        for server in self.servers.values().filter(|s| s.is_up()) {
             let asked = self.fill(server).min(1.2) * server.gauge.gives;
             let rack = &mut self.racks[server.rack];
-            if server.is_up() {
-                self.sums.up += 1.0;
-                rack.links += server.gauge.gives;
-                rack.asked += asked;
-            }
+            self.sums.up += 1.0;
+            rack.links += server.gauge.gives;
+            rack.asked += asked;
         }
+        let all: f64 = self.racks.iter().map(|r| r.asked).sum();
+        let seen = if self.sums.own_kb > 0.0 { all / self.sums.own_kb } else { siblings };
+        self.sums.scale = seen.clamp(SCALE.0 * siblings, SCALE.1 * siblings).max(1.0);
     }
 
     /// Fill of a server's link. Unheard ones count as the mean, 0.8 at most: to be heard they must be tried.
@@ -410,7 +400,7 @@
         let Some((id, server)) = session.server.and_then(|id| Some((id, self.servers.get(&id)?))) else {
             return;
         };
-        let (class, rung, region) = (session.ask.class, session.rung, session.region);
+        let (class, rung) = (session.ask.class, session.rung);
         let mut kb = self.kb(class, rung);
         if self.class(class).is_some_and(|c| c.live) {
             let like = |s: &Session| (s.ask.title, s.ask.class, s.rung) == (session.ask.title, class, rung);
@@ -421,7 +411,7 @@
         let signed = if add { kb } else { -kb };
         server.use_kb = (server.use_kb + signed).max(0.0);
         self.sums.own_kb = (self.sums.own_kb + signed).max(0.0);
-        self.sums.region_kb.iter_mut().skip(region).take(1).for_each(|kb| *kb += signed);
+        self.sums.region_kb.iter_mut().skip(usize::from(rung)).take(1).for_each(|kb| *kb += signed);
         let _ = if add { server.here.insert(request) } else { server.here.remove(&request) };
         server.gauge.change(now, signed);
         self.racks[server.rack].uplink.change(now, signed);
@@ -434,10 +424,7 @@
         let age = if fresh { 0 } else { self.s.note_delay };
         let rack = self.servers.get(&id).map_or(0, |s| s.rack);
         match note {
-            Note::Rung(rung) => {
-                let rung = rung.min(self.last_rung());
-                self.place(now, request, (usize::from(rung), rung));
-            }
+            Note::Rung(rung) => self.place(now, request, rung.min(self.last_rung())),
             Note::Link(x) => drop(self.servers.entry(id).and_modify(|s| s.measure(now, x, age))),
             Note::Uplink(x) => self.racks[rack].uplink.measure(now, x, age),
             Note::Delivered(share) => self.delivered(now, id, share),
@@ -445,7 +432,7 @@
         self.relieve(now, id, out);
     }
 
-    /// A short delivery is laid to the link, unless a note of the link has come since it began and tells of room.
+    /// A short delivery is laid to the link, unless a note of the link since it began tells of room.
     fn delivered(&mut self, now: Time, id: ServerId, share: f64) {
         let Some(server) = self.servers.get_mut(&id) else { return };
         let began = server.short.filter(|s| since(now, s.1) < SHORT_LASTS).map_or(now, |s| s.0);
@@ -462,9 +449,6 @@
         }
     }
 
-    // ---- regions ----
-
-    /// Mean length of a session in seconds, from what ended and what is still watched.
     fn length(&self) -> f64 {
         self.seconds / self.ends.max(1.0)
     }
@@ -473,7 +457,7 @@
     /// Its own count of arrivals weighs as much as the mean once it expects one.
     fn size(&mut self, now: Time, id: ServerId) {
         let mean = self.arrivals.0 / self.sums.up.max(1.0);
-        let load = mean / self.arrivals.1.max(1.0) * f64::from(self.s.siblings.max(1)) * self.length();
+        let load = mean / self.arrivals.1.max(1.0) * self.sums.scale * self.length();
         let Some(server) = self.servers.get_mut(&id) else { return };
         if server.sized.is_some_and(|t| since(now, t) < RESIZE) {
             return;
@@ -482,7 +466,6 @@
         let rack = &self.racks[server.rack];
         let part = (rack.uplink.gives / rack.links.max(1.0)).min(1.0);
         let room = HEADROOM * server.gauge.gives * part / self.sums.factor;
-        // Links alike in arrivals and room are sized once.
         let step = |v: f64, part: f64| (v.max(1e-3).ln() / part).round() as i32;
         let offered = step(load * (1.0 + server.arrivals) / (1.0 + mean), ALIKE.0);
         let key = (offered, step(room, ALIKE.1), server.places.min(10_000.0) as u32);
@@ -492,8 +475,7 @@
         server.slots.clone_from(self.sizes.entry(key).or_insert_with(size));
     }
 
-    /// The worth of a kB at which all sessions would just fill the links. What is asked is taken to grow as our
-    /// own rates would, so that rough rates cancel out.
+    /// The worth of a kB at which all sessions would just fill the links, if they grow as ours would.
     fn reprice(&mut self) {
         let asked: f64 =
             (0..self.racks.len()).map(|r| self.uplink_fill(r) * self.racks[r].uplink.gives).sum();
@@ -513,7 +495,6 @@
         self.price = high;
     }
 
-    /// The rung that earns a class most at the present price.
     fn priced(&self, class: u8, top: u8) -> u8 {
         let Some(c) = self.class(class) else { return 0 };
         let worth = |r: u8| self.s.rung_worth.get(usize::from(r)).copied().unwrap_or(0.0);
@@ -530,15 +511,18 @@
         held.filter_map(|cell| self.cells.get(&(cell as u16))).flatten().copied().collect()
     }
 
-    /// The region and rung that a server offers: `held` is what the session has there already.
-    fn offer(&self, ask: &Ask, id: ServerId, held: Option<(usize, u8)>) -> Option<(usize, u8)> {
+    /// The rung, and so the region, that a server offers: `held` is the one that the session has there.
+    fn offer(&self, ask: &Ask, id: ServerId, held: Option<u8>) -> Option<u8> {
         let server = self.servers.get(&id)?;
         let class = self.class(ask.class)?;
         let top = ask.top.min(class.top).min(self.last_rung());
-        let held_kb = held.map_or(0.0, |(_, rung)| self.kb(ask.class, rung));
+        let held_kb = held.map_or(0.0, |rung| self.kb(ask.class, rung));
         let (link, uplink) = (self.fill(server), self.uplink_fill(server.rack));
         let alike = if held.is_some() { self.alike(server) } else { 1.0 };
-        if top < class.floor || held.is_none() && self.streams(server) + 1.0 > server.places {
+        if top < class.floor
+            || self.s.rung_kb.is_empty()
+            || held.is_none() && self.streams(server) + 1.0 > server.places
+        {
             return None;
         }
         let priced = self.priced(ask.class, top);
@@ -549,21 +533,17 @@
             link + more * alike / server.gauge.gives <= mark
                 && uplink + more * alike / self.racks[server.rack].uplink.gives <= mark
         };
-        let offered = (usize::from(class.floor)..self.s.rung_kb.len()).rev().find_map(|region| {
-            let rung = top.min(region as u8);
-            let kb = self.kb(ask.class, rung);
-            if fits(kb, LOW_MARK) && rung <= priced {
-                return Some((usize::from(rung), rung));
-            }
+        let offered = (class.floor..=top).rev().find(|rung| {
+            let (kb, region) = (self.kb(ask.class, *rung), usize::from(*rung));
             let spread = self.sums.region_kb[region] / self.sums.own_kb.max(1.0);
-            let inside = if held.is_some_and(|(r, _)| r == region) { held_kb } else { 0.0 };
+            let inside = if held == Some(*rung) { held_kb } else { 0.0 };
             let occupied = link * server.gauge.gives * spread - inside;
             let slots = (f64::from(server.slots[region]) + 0.5) * self.s.rung_kb[region] * self.sums.factor;
-            (fits(kb, mark) && occupied + kb <= slots).then_some((region, rung))
+            fits(kb, LOW_MARK) && *rung <= priced || fits(kb, mark) && occupied + kb <= slots
         });
         // Regions lag and rates are rough: while the link is measured to have room, the lowest rung goes.
         let room = held.is_none() && fits(self.kb(ask.class, class.floor), HEADROOM);
-        offered.or(room.then_some((usize::from(class.floor), class.floor)))
+        offered.or(room.then_some(class.floor))
     }
 
     /// Streams that a server is thought to run: ours, and others at the mean rate of ours.
@@ -577,9 +557,9 @@
         self.streams(server).min(f64::from(self.s.siblings)).max(1.0)
     }
 
-    /// Departure: a raise that would not fit if all did alike is made with the probability that fills the room.
+    /// Departure: a raise that fits only if few do alike is made with the probability that fills the room.
     /// Danger: many fronts with a session each raise nothing. Harm: by chance too many act; relief follows.
-    fn lucky(&mut self, id: ServerId, request: RequestId) -> Option<(usize, u8)> {
+    fn lucky(&mut self, id: ServerId, request: RequestId) -> Option<u8> {
         let (server, session) = (self.servers.get(&id)?, self.sessions.get(&request)?);
         let rung = self.priced(session.ask.class, session.ask.top);
         let more = self.kb(session.ask.class, rung) - self.kb(session.ask.class, session.rung);
@@ -587,10 +567,9 @@
         let room = (CHANCE_FILL - self.fill(server)) * server.gauge.gives / (more * alike).max(1.0);
         let above = (CHANCE_FILL - self.uplink_fill(server.rack)) * uplink.gives / (more * alike).max(1.0);
         let acts = f64::from(self.rng.0.rand_float()) < room.min(above);
-        (acts && rung > session.rung).then_some((usize::from(rung), rung))
+        (acts && rung > session.rung).then_some(rung)
     }
 
-    /// Whether a server may be sent a set-up now.
     fn usable(&self, now: Time, id: ServerId, free: bool) -> bool {
         let Some(server) = self.servers.get(&id) else { return false };
         let slow = (4.0 * self.setup).max(0.3 * SECOND as f64) as u64;
@@ -602,7 +581,7 @@
     }
 
     /// Two random holders: the higher rung offered, then the lighter; the others only when both are full.
-    fn choose(&mut self, now: Time, request: RequestId, over_share: bool) -> Option<(ServerId, usize, u8)> {
+    fn choose(&mut self, now: Time, request: RequestId, over_share: bool) -> Option<(ServerId, u8)> {
         let session = self.sessions.get(&request)?;
         let ask = session.ask.clone();
         let class = self.class(ask.class)?;
@@ -621,11 +600,11 @@
                 let away = if server.is.zone != self.s.zone { self.s.cross_zone_price } else { 0.0 };
                 let offer = self.offer(&ask, *id, None)?;
                 // Beyond its tenant's share: the lowest rung, and only where room is.
-                let (region, rung) = if over_share { (usize::from(floor), floor) } else { offer };
-                (!over_share || fill <= LOW_MARK).then_some((*id, region, rung, fill + away))
+                let rung = if over_share { floor } else { offer };
+                (!over_share || fill <= LOW_MARK).then_some((*id, rung, fill + away))
             });
-            let best = offers.min_by(|a, b| b.2.cmp(&a.2).then(a.3.total_cmp(&b.3)));
-            best.map(|(id, region, rung, _)| (id, region, rung))
+            let best = offers.min_by(|a, b| b.1.cmp(&a.1).then(a.2.total_cmp(&b.2)));
+            best.map(|(id, rung, _)| (id, rung))
         })
     }
 
@@ -633,37 +612,37 @@
 
     /// Raises sessions at a server, the nearest lower region first and the longest waiting in it.
     fn raise(&mut self, now: Time, id: ServerId, out: &mut Out) {
-        let fit = |s: &&Server| s.is.phase != Phase::Gone && now >= s.blocked;
-        let Some(server) = self.servers.get(&id).filter(fit) else { return };
+        let there = |s: &&Server| s.is.phase != Phase::Gone && now >= s.blocked;
+        let Some(server) = self.servers.get(&id).filter(there) else { return };
         let news = server.news;
-        let left =
-            |s: &Session| s.ask.hint.map_or(f64::MAX, |h| h as f64 / SECOND as f64 - seconds(now, s.started));
-        let repaid = |s: &Session| left(s) > REPAID * self.s.switch_seconds;
-        let ready = self.here(server).filter(|(_, s)| s.playing && now >= s.hold && !s.closed && repaid(s));
-        let mut waiting: Vec<_> = ready.map(|(r, s)| (std::cmp::Reverse(s.region), s.waiting, r)).collect();
+        let repaid = |h: u64, s: &Session| seconds(after(s.started, h), now) > REPAID * self.s.switch_seconds;
+        let fit =
+            |s: &Session| s.playing && now >= s.hold && !s.closed && s.ask.hint.is_none_or(|h| repaid(h, s));
+        let ready = self.here(server).filter(|(_, s)| fit(s));
+        let mut waiting: Vec<_> = ready.map(|(r, s)| (std::cmp::Reverse(s.rung), s.waiting, r)).collect();
         self.size(now, id);
         self.servers.entry(id).and_modify(|s| s.news = false);
         waiting.sort();
         for (_, _, request) in waiting {
             let Some(session) = self.sessions.get(&request) else { continue };
-            let held = (session.region, session.rung);
-            let sure = self.offer(&session.ask, id, Some(held)).filter(|(_, rung)| *rung > held.1);
-            let offer = sure.or_else(|| self.lucky(id, request).filter(|_| news));
-            let Some((region, rung)) = offer else { continue };
-            self.set_rung(now, request, (region, rung), RAISE_PAUSE, out);
+            let held = session.rung;
+            let sure = self.offer(&session.ask, id, Some(held)).filter(|rung| *rung > held);
+            if let Some(rung) = sure.or_else(|| self.lucky(id, request).filter(|_| news)) {
+                self.set_rung(now, request, rung, RAISE_PAUSE, out);
+            }
         }
     }
 
-    fn place(&mut self, now: Time, request: RequestId, at: (usize, u8)) {
+    fn place(&mut self, now: Time, request: RequestId, rung: u8) {
         self.book(now, request, false);
-        self.sessions.entry(request).and_modify(|s| (s.region, s.rung) = at);
+        self.sessions.entry(request).and_modify(|s| s.rung = rung);
         self.book(now, request, true);
     }
 
-    fn set_rung(&mut self, now: Time, request: RequestId, at: (usize, u8), hold: u64, out: &mut Out) {
-        self.place(now, request, at);
+    fn set_rung(&mut self, now: Time, request: RequestId, rung: u8, hold: u64, out: &mut Out) {
+        self.place(now, request, rung);
         self.sessions.entry(request).and_modify(|s| (s.waiting, s.hold) = (now, after(now, hold)));
-        out.push(Action::Rung { request, rung: at.1 });
+        out.push(Action::Rung { request, rung });
     }
 
     /// Departure: where a link or uplink is measured to be overrun, each front lowers its part of the excess.
@@ -685,12 +664,12 @@
                 Some((lost / saved.max(1e-9), saved, request, lower as u8))
             })
             .collect();
-        // A rung down where it costs the least worth for what it saves. The step that saves more than is needed
-        // is taken by chance: danger, each of many fronts would round its part up to a whole session.
+        // A rung down where it costs the least worth for what it saves, the last by chance. Danger: each of
+        // many fronts rounds its part up to a whole session.
         steps.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (_, saved, request, rung) in steps {
             if need > f64::from(self.rng.0.rand_float()) * saved {
-                self.set_rung(now, request, (usize::from(rung), rung), LOWER_PAUSE, out);
+                self.set_rung(now, request, rung, LOWER_PAUSE, out);
             }
             need -= saved;
         }
@@ -716,14 +695,11 @@
         self.next(now, request, over, out);
     }
 
-    /// Sends the next attempt, or gives the final answer at once.
     fn next(&mut self, now: Time, request: RequestId, over_share: bool, out: &mut Out) {
-        let Some(session) = self.sessions.get(&request) else { return };
-        let seat = self.has_seat(&session.ask);
-        let may = seat && self.may_attempt(now, request);
-        let chosen = if may { self.choose(now, request, over_share) } else { None };
+        let chosen =
+            if self.may_attempt(now, request) { self.choose(now, request, over_share) } else { None };
         let Some(session) = self.sessions.get_mut(&request) else { return };
-        let Some((id, region, rung)) = chosen else {
+        let Some((id, rung)) = chosen else {
             let effect = self.s.classes.get(usize::from(session.ask.class)).map(|c| c.effect);
             let harmless = matches!(effect, None | Some(Effect::Free | Effect::Guarded(Group::All)));
             let reject = Action::Reject { request, stay_away: self.s.stay_away_cap };
@@ -735,12 +711,11 @@
         let left = session.ask.deadline.0.saturating_sub(now.0);
         let part = (class.aim / 2).max((4.0 * self.setup) as u64);
         let timeout = if class.effect == Effect::SingleShot { 0 } else { part.min(left) };
-        (session.server, session.region, session.rung) = (Some(id), region, rung);
-        session.waiting = now;
+        (session.server, session.rung, session.waiting) = (Some(id), rung, now);
         self.extras.extend((!session.tried.is_empty()).then_some(now));
         session.tried.push(id);
-        let settings = &self.s;
-        self.servers.entry(id).and_modify(|s| s.next_cold = after(now, cold_interval(settings, s)));
+        let set = &self.s;
+        self.servers.entry(id).and_modify(|s| s.next_cold = after(now, cold_interval(set, s)));
         self.book(now, request, true);
         out.push(Action::Rung { request, rung });
         out.push(Action::Attempt { request, server: id, timeout });
@@ -762,8 +737,7 @@
         let floor = self.class(ask.class).map_or(0, |c| c.floor);
         self.open(now, ask);
         if let Some(session) = self.sessions.get_mut(&request) {
-            (session.server, session.rung, session.region) = (Some(id), floor, usize::from(floor));
-            session.playing = true;
+            (session.server, session.rung, session.playing) = (Some(id), floor, true);
         }
         // Before any are counted, the sessions under way stand for the arrivals.
         self.arrivals.0 += self.arrivals.1 / self.length();
@@ -807,9 +781,7 @@
         let Some(session) = self.sessions.get_mut(&request).filter(|_| known) else { return };
         session.server = None;
         let never = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
-        if !never && session.ran.is_none() {
-            session.ran = Some((id, session.waiting));
-        }
+        session.ran = session.ran.or((!never).then_some((id, session.waiting)));
         if session.playing || session.closed || closed || outcome == Outcome::Ok {
             self.ends += f64::from(u8::from(session.playing && outcome == Outcome::Ok));
             let lost = session.playing && outcome == Outcome::Reset;
@@ -823,7 +795,6 @@
         }
     }
 
-    /// Counts an arrival at the servers that could take it.
     fn arrive(&mut self, ask: &Ask) {
         let mut ids = self.holders(ask);
         ids.retain(|id| self.servers[id].is_up());
@@ -864,7 +835,7 @@
 
     // ---- guards ----
 
-    /// Whether an attempt breaks nothing: one at a time, in time, within caps, never twice where it may have run.
+    /// Whether an attempt breaks nothing: one at a time, in time, in caps, no second where one may have run.
     fn may_attempt(&mut self, now: Time, request: RequestId) -> bool {
         let window = now.0.saturating_sub(self.s.extra_window);
         for times in [&mut self.taken, &mut self.extras] {
@@ -872,17 +843,19 @@
         }
         let Some(session) = self.sessions.get(&request) else { return false };
         let Some(class) = self.class(session.ask.class) else { return false };
-        if session.closed || session.server.is_some() || now >= session.ask.deadline {
-            return false;
-        }
+        let open = !session.closed && session.server.is_none() && now < session.ask.deadline;
         let again = match (class.effect, session.ran) {
             (Effect::Free, _) | (_, None) => true,
             (Effect::SingleShot, Some(_)) => false,
             (Effect::Guarded(_), Some((_, sent))) => since(now, sent) < class.repeat_within,
         };
+        let title = |s: &&Session| (s.ask.class, s.ask.title) == (session.ask.class, session.ask.title);
+        let held = self.sessions.values().filter(|s| s.server.is_some()).filter(title);
+        let seat = class.seats == 0 || held.count() < class.seats as usize;
         let share = self.s.extra_share * self.taken.len() as f64;
         let allowed = self.s.extra_floor.map_or(f64::INFINITY, |floor| floor + share);
-        again
+        open && again
+            && seat
             && session.tried.len() < self.s.attempts_cap.max(1) as usize
             && (session.tried.is_empty() || (self.extras.len() + 1) as f64 <= allowed)
     }
@@ -897,13 +870,6 @@
         }
     }
 
-    fn has_seat(&self, ask: &Ask) -> bool {
-        let cap = self.class(ask.class).map_or(0, |c| c.seats) as usize;
-        let same = |s: &&Session| s.server.is_some() && (s.ask.class, s.ask.title) == (ask.class, ask.title);
-        cap == 0 || self.sessions.values().filter(same).count() < cap
-    }
-
-    /// Whether a tenant is beyond this front's part of its share.
     fn over_share(&mut self, now: Time, tenant: u16) -> bool {
         let quota = self.s.tenant_quota.get(usize::from(tenant)).copied().unwrap_or(0.0);
         let rate = TENANT.0 * quota / f64::from(self.s.siblings.max(1));
