A turn at a cold server lapses after the rule's span

Cause, found by a test: 250 fronts hear of a restart 3 s late, nobody asks in between, and the turns that passed unused are all taken at once when a crowd comes (4 set-ups in a second where 2.5 tip).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -211,7 +211,7 @@
     let used = |n: &[u32]| n.iter().zip(kb).map(|(n, k)| f64::from(*n) * k).sum::<f64>();
     let fits = |n: &[u32]| used(n) <= budget + 1e-9 && n.iter().sum::<u32>() <= places;
     let valued = |n: Vec<u32>| (benefit(offered, &n, worth, worth.first().copied().unwrap_or(0.0)), n);
-    // As few slots less of one rung as make room for one more of another, and then as many more as fit.
+    // As few slots less as make room for one more of another rung, and then as many more as fit.
     let trade = |n: &[u32], from: usize, to: usize| {
         let mut m = n.to_vec();
         let less = if from == to { 0.0 } else { (kb[to] / kb[from].max(1e-9)).ceil().max(1.0) };
@@ -576,7 +576,9 @@
         let mut flights = self.here(server).map(|(_, s)| s).filter(|s| !s.playing).peekable();
         let trial = server.doubts > 0 && (!free || flights.peek().is_some());
         let stuck = flights.any(|s| since(now, s.waiting) > slow);
-        let cold = now < server.cold_until && now < server.next_cold;
+        // A turn at a cold server lapses: danger, unused turns of many fronts add up until a crowd comes.
+        let lapsed = since(now, server.next_cold) % cold_interval(&self.s, server).max(1) > self.s.fall;
+        let cold = now < server.cold_until && (now < server.next_cold || lapsed);
         server.is.phase == Phase::Ready && now >= server.blocked && !(stuck || trial || cold)
     }
 
