--- a/src/choice.rs
+++ b/src/choice.rs
@@ -118,6 +118,7 @@
 #[derive(Default)]
 struct Sums {
     mean_uplink: Option<f64>,
+    unheard: bool,
     mean: f64, // Fill of the servers heard; before any was, what our own sessions make likely.
     up: f64,
     scale: f64, // What is asked of all links over what our own sessions ask: our part, turned over.
@@ -350,7 +351,9 @@
         self.sums.mean_uplink = mean_heard(self.ticked, self.racks.iter().map(|r| &r.uplink));
         let there = self.servers.values().filter(|s| s.is.phase != Phase::Gone);
         let likely = self.sums.own_kb * siblings / self.s.fleet_kb.max(1.0);
-        self.sums.mean = mean_heard(self.ticked, there.map(|s| &s.gauge)).unwrap_or(likely);
+        let heard = mean_heard(self.ticked, there.map(|s| &s.gauge));
+        self.sums.unheard = heard.is_none();
+        self.sums.mean = heard.unwrap_or(likely);
         self.racks.iter_mut().for_each(|r| (r.links, r.asked) = (0.0, 0.0));
         for server in self.servers.values().filter(|s| s.is_up()) {
             let asked = self.fill(server).min(1.2) * server.gauge.gives;
@@ -394,7 +397,6 @@
         self.s.rung_kb.get(usize::from(rung)).copied().unwrap_or(0.0) * factor
     }
 
-    /// Books a session's rate at its server; viewers of a live title share a stream.
     fn book(&mut self, now: Time, request: RequestId, add: bool) {
         let Some(session) = self.sessions.get(&request) else { return };
         let Some((id, server)) = session.server.and_then(|id| Some((id, self.servers.get(&id)?))) else {
@@ -612,7 +614,7 @@
 
     // ---- raises ----
 
-    /// Raises sessions at a server, the nearest lower region first and the longest waiting in it.
+    /// The nearest lower region first and the longest waiting in it.
     fn raise(&mut self, now: Time, id: ServerId, out: &mut Out) {
         let there = |s: &&Server| s.is.phase != Phase::Gone && now >= s.blocked;
         let Some(server) = self.servers.get(&id).filter(there) else { return };
@@ -690,7 +692,8 @@
         let over = self.over_share(now, ask.tenant);
         self.arrive(&ask);
         self.open(now, ask);
-        if self.price == 0.0 {
+        // Danger: a front that has heard of no link yet puts a whole crowd on the top rung.
+        if self.sums.unheard {
             self.survey(now);
             self.reprice();
         }
@@ -741,7 +744,6 @@
         if let Some(session) = self.sessions.get_mut(&request) {
             (session.server, session.rung, session.playing) = (Some(id), floor, true);
         }
-        // Before any are counted, the sessions under way stand for the arrivals.
         self.arrivals.0 += self.arrivals.1 / self.length();
         self.book(now, request, true);
     }
@@ -817,7 +819,6 @@
         self.seconds += past * self.sessions.values().filter(|s| s.playing).count() as f64;
         self.ticked = Some(now);
         out.push(Action::Wake { at: after(now, SECOND), token: 0 });
-        // The count forgets as time goes by, the slower the fewer arrivals there are.
         let rate = self.arrivals.0 / self.arrivals.1.max(1.0);
         let kept = (-past * (1.0 / COUNTED.0).min(rate / COUNTED.1)).exp();
         self.arrivals = (self.arrivals.0 * kept, self.arrivals.1 * kept + past);
--- a/tests/many_fronts.rs
+++ b/tests/many_fronts.rs
@@ -182,6 +182,7 @@
     d.plays(6, server);
     d.wait(SECOND);
     d.note(6, server, Note::Uplink(1.02));
+    d.send(Event::Timer(0));
     d.end(6, server, Outcome::Ok, true);
     assert!(attempt(&only(&mut d, 12)).is_none());
     for _ in 0..60 {
