A front that stood still does not blame servers for what it had no turn to read

Cause suspected: after its own gap a front takes set-ups out for long for stuck servers and time-outs for failures. A timer half a second late now tells the gap; waits count from its end, time-outs that come with it are not blamed. It also covers a suspended host; it could delay by half a second the blame for a server that hangs just then.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -17,6 +17,7 @@
 const STALE: f64 = 6.0; // Seconds after which a measurement begins to give way to the mean.
 const UTIL_STOPS: f64 = 0.97; // Reports of a link's use that stop at 1 say little from here on.
 const REPORT_AGE: u64 = SECOND / 3; // Usual age of a load report.
+const STALL: u64 = SECOND / 2; // A timer later than this tells that we stood still.
 const SHORT_LASTS: u64 = 3 * SECOND; // A short delivery is over when not told for this time.
 const UNLIKE_LINK: f64 = 0.93; // Asked times delivered, below which the link is not what falls short.
 const RESIZE: u64 = 10 * SECOND; // Regions are sized anew after this time.
@@ -118,7 +119,6 @@
 #[derive(Default)]
 struct Sums {
     mean_uplink: Option<f64>,
-    unheard: bool,
     mean: f64, // Fill of the servers heard; before any was, what our own sessions make likely.
     up: f64,
     scale: f64, // What is asked of all links over what our own sessions ask: our part, turned over.
@@ -167,6 +167,7 @@
     setup: f64,
     ticked: Option<Time>,
     listed: Time,
+    resumed: Time, // When this front last found that it had stood still.
     sums: Sums,
     each_kb: f64, // Mean rate of late sessions of ours: the fewer, the longer they are remembered.
     arrivals: (f64, f64), // Late requests, and the seconds they came in.
@@ -267,6 +268,9 @@
             out.push(Action::Wake { at: after(now, SECOND), token: 0 });
             out.extend(self.s.must_ask.then_some(Action::Subscribe));
         }
+        // Danger: a front that stood still blames servers for answers that it had no turn to read.
+        let due = self.ticked.map_or(now, |t| after(t, SECOND + STALL));
+        self.resumed = if now > due { now } else { self.resumed };
         match event {
             Event::Roster(kind, entries) => self.roster(now, kind, entries, out),
             Event::Ask(ask) => self.ask(now, ask, out),
@@ -351,9 +355,7 @@
         self.sums.mean_uplink = mean_heard(self.ticked, self.racks.iter().map(|r| &r.uplink));
         let there = self.servers.values().filter(|s| s.is.phase != Phase::Gone);
         let likely = self.sums.own_kb * siblings / self.s.fleet_kb.max(1.0);
-        let heard = mean_heard(self.ticked, there.map(|s| &s.gauge));
-        self.sums.unheard = heard.is_none();
-        self.sums.mean = heard.unwrap_or(likely);
+        self.sums.mean = mean_heard(self.ticked, there.map(|s| &s.gauge)).unwrap_or(likely);
         self.racks.iter_mut().for_each(|r| (r.links, r.asked) = (0.0, 0.0));
         for server in self.servers.values().filter(|s| s.is_up()) {
             let asked = self.fill(server).min(1.2) * server.gauge.gives;
@@ -442,8 +444,7 @@
         if !share.is_finite() || share >= 0.98 {
             return;
         }
-        let told = server.gauge.heard.is_some_and(|t| t > began);
-        if !told || server.gauge.x * share > UNLIKE_LINK {
+        if server.gauge.heard.is_none_or(|t| t <= began) || server.gauge.x * share > UNLIKE_LINK {
             server.gauge.x = server.gauge.x.max(1.0 / share.max(0.3));
         } else if share < 0.75 {
             // Danger: a server that hangs or delivers too little for its own cause still takes set-ups.
@@ -577,7 +578,7 @@
         let slow = (4.0 * self.setup).max(0.3 * SECOND as f64) as u64;
         let mut flights = self.here(server).map(|(_, s)| s).filter(|s| !s.playing).peekable();
         let trial = server.doubts > 0 && (!free || flights.peek().is_some());
-        let stuck = flights.any(|s| since(now, s.waiting) > slow);
+        let stuck = flights.any(|s| since(now, s.waiting.max(self.resumed)) > slow);
         // A turn at a cold server lapses: danger, unused turns of many fronts add up until a crowd comes.
         let lapsed = since(now, server.next_cold) % cold_interval(&self.s, server).max(1) > self.s.fall;
         let cold = now < server.cold_until && (now < server.next_cold || lapsed);
@@ -603,18 +604,16 @@
                 let fill = self.fill(server).max(self.uplink_fill(server.rack));
                 let away = if server.is.zone != self.s.zone { self.s.cross_zone_price } else { 0.0 };
                 let offer = self.offer(&ask, *id, None)?;
-                // Beyond its tenant's share: the lowest rung, and only where room is.
                 let rung = if over_share { floor } else { offer };
                 (!over_share || fill <= LOW_MARK).then_some((*id, rung, fill + away))
             });
-            let best = offers.min_by(|a, b| b.1.cmp(&a.1).then(a.2.total_cmp(&b.2)));
-            best.map(|(id, rung, _)| (id, rung))
+            offers.min_by(|a, b| b.1.cmp(&a.1).then(a.2.total_cmp(&b.2))).map(|(id, rung, _)| (id, rung))
         })
     }
 
     // ---- raises ----
 
-    /// The nearest lower region first and the longest waiting in it.
+    /// Raises sessions at a server, the nearest lower region first and the longest waiting in it.
     fn raise(&mut self, now: Time, id: ServerId, out: &mut Out) {
         let there = |s: &&Server| s.is.phase != Phase::Gone && now >= s.blocked;
         let Some(server) = self.servers.get(&id).filter(there) else { return };
@@ -652,8 +651,7 @@
     /// Departure: where a link or uplink is measured to be overrun, each front lowers its part of the excess.
     fn relieve(&mut self, now: Time, id: ServerId, out: &mut Out) {
         let Some(server) = self.servers.get(&id) else { return };
-        let (link, uplink) = (self.fill(server), self.uplink_fill(server.rack));
-        let x = link.max(uplink);
+        let x = self.fill(server).max(self.uplink_fill(server.rack));
         if x <= OVERRUN.0 || now < server.next_relief {
             return;
         }
@@ -692,8 +690,7 @@
         let over = self.over_share(now, ask.tenant);
         self.arrive(&ask);
         self.open(now, ask);
-        // Danger: a front that has heard of no link yet puts a whole crowd on the top rung.
-        if self.sums.unheard {
+        if self.price == 0.0 {
             self.survey(now);
             self.reprice();
         }
@@ -772,7 +769,8 @@
                 server.cold_until = server.cold_until.max(after(now, 2 * self.s.cold));
                 server.next_cold = server.next_cold.max(turn(&self.s, server, id, now, now));
             }
-            if broke || matches!(outcome, Outcome::Error | Outcome::Timeout) {
+            let late = outcome == Outcome::Timeout && since(now, self.resumed) > STALL;
+            if broke || late || outcome == Outcome::Error {
                 server.trouble(now);
             } else if outcome == Outcome::Full {
                 server.gauge.x = server.gauge.x.max(self.s.server_guard.min(1.0));
@@ -804,9 +802,7 @@
         ids.retain(|id| self.servers[id].is_up());
         self.arrivals.0 += 1.0;
         for id in &ids {
-            if let Some(server) = self.servers.get_mut(id) {
-                server.arrivals += 1.0 / ids.len() as f64;
-            }
+            self.servers.entry(*id).and_modify(|s| s.arrivals += 1.0 / ids.len() as f64);
         }
     }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -225,3 +225,23 @@
     };
     assert_eq!(run(), run());
 }
+
+#[test]
+fn a_front_that_stood_still_does_not_blame_the_servers() {
+    // With its timers on time, a set-up that is out for long keeps others away.
+    let mut d = one_server();
+    tick(&mut d, 2);
+    d.ask(6, FREE);
+    tick(&mut d, 1);
+    assert!(rejected(&d.ask(12, FREE)));
+    // Two seconds without a turn, and then a request and a time-out at once.
+    let mut d = one_server();
+    tick(&mut d, 2);
+    let server = attempt(&d.ask(6, FREE)).unwrap();
+    d.ask(18, FREE);
+    d.wait(3 * SECOND);
+    assert_eq!(attempt(&d.ask(12, FREE)), Some(server));
+    d.end(6, server, Outcome::Timeout, true);
+    d.send(Event::Timer(0));
+    assert_eq!(attempt(&d.ask(24, FREE)), Some(server));
+}
