--- a/src/choice.rs
+++ b/src/choice.rs
@@ -746,14 +746,12 @@
     }
 
     fn playing(&mut self, now: Time, request: RequestId, id: ServerId, took: u64) {
-        let slow = took as f64 > (4.0 * self.setup).max(0.3 * SECOND as f64);
         self.setup += 0.05 * ((took as f64).min(SECOND as f64) - self.setup);
         if let Some(session) = self.sessions.get_mut(&request) {
             (session.playing, session.started) = (true, now);
         }
         if let Some(server) = self.servers.get_mut(&id) {
-            // Danger: a server that grows slower takes paid set-ups until it dies.
-            server.doubts = if slow { CLEARING } else { server.doubts.saturating_sub(1) };
+            server.doubts = server.doubts.saturating_sub(1);
             if server.broke {
                 server.broke = false;
                 server.cold_until = server.cold_until.max(after(now, self.s.cold));
