--- a/crates/cli/src/logs.rs
+++ b/crates/cli/src/logs.rs
@@ -11,9 +11,14 @@
 /// Starts the logs; they are written until the guard is dropped. Nothing that a player keeps secret is ever logged:
 /// keys, and so sessions, appear by number only.
 pub fn start(level: &str, json: bool) -> WorkerGuard {
+    start_bounded(level, json, WAITING)
+}
+
+/// The same with another bound on the lines that wait.
+pub fn start_bounded(level: &str, json: bool, waiting: usize) -> WorkerGuard {
     // The writer flushes when no line waits: under load many lines go out with one call of the kernel.
     let out = BufWriter::with_capacity(BUFFER, std::io::stderr());
-    let (writer, guard) = NonBlockingBuilder::default().buffered_lines_limit(WAITING).finish(out);
+    let (writer, guard) = NonBlockingBuilder::default().buffered_lines_limit(waiting).finish(out);
     let filter = EnvFilter::try_from_env("CRANKPADDLE_LOG")
         .unwrap_or_else(|_| EnvFilter::new(format!("{level},may=warn")));
     let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(writer).with_ansi(false);
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,9 +1,10 @@
-//! The program: `crankpaddle front`, `crankpaddle check`, `crankpaddle api`, `crankpaddle traffic`, `crankpaddle lab`.
+//! The program: `crankpaddle front`, `crankpaddle node`, `crankpaddle check`, `crankpaddle api`, `crankpaddle traffic`, `crankpaddle lab`.
 #![forbid(unsafe_code)]
 mod api;
 mod front;
 mod lab;
 mod logs;
+mod node;
 mod traffic;
 
 use clap::{Parser, Subcommand};
@@ -39,6 +40,19 @@
         #[arg(short, long, value_name = "FILE")]
         config: PathBuf,
     },
+    /// Run as a front node of the platform: viewers on JSON lines, servers on RTSP, the directory on DNS.
+    #[command(
+        after_help = "All is read from the configuration (JSON): address, limits, directory, servers known, settings.\n\n\
+        Signals:\n  TERM, INT   take nothing new, answer what is under way, end with the last session, exit 0\n  \
+        HUP         read the file again and ask the directory where it says now; a bad file changes nothing\n\n\
+        CRANKPADDLE_LOG sets what is logged (standard error; default: warn).\n\n\
+        Example:\n  NODE_CONFIG=/run/balancer/config.json crankpaddle node"
+    )]
+    Node {
+        /// The configuration; default: what NODE_CONFIG names.
+        #[arg(short, long, value_name = "FILE")]
+        config: Option<PathBuf>,
+    },
     /// Check a configuration: says all that is wrong as FILE:LINE:COLUMN and exits 2, or says nothing and exits 0.
     Check {
         /// The configuration.
@@ -61,6 +75,7 @@
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
         Command::Front { config } => load(&config).map_err(bad_file).and_then(|c| front::run(c, config)),
+        Command::Node { config } => node::run(config),
         Command::Check { file, print } => {
             let show = |text: String| {
                 if print {
--- /dev/null
+++ b/crates/cli/src/node.rs
@@ -0,0 +1,56 @@
+//! Running a front node.
+use crate::{logs, Failure, BAD_FILE};
+use crankpaddle_node::Node;
+use crankpaddle_node_protocol::config::Config;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+
+/// Log lines that may wait for the writer, for each MB that the machine allows.
+const LINES_PER_MB: usize = 16;
+
+fn load(path: &Path) -> Result<Config, String> {
+    let text = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    Config::parse(&text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+/// Runs until it is told to end and nothing is owed any more.
+pub fn run(config: Option<PathBuf>) -> Result<ExitCode, Failure> {
+    // First of all: a signal that comes during the start must find its handler.
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    let bad = |what: String| Failure { what: format!("crankpaddle node: {what}"), status: BAD_FILE };
+    let path = config.or_else(|| std::env::var_os("NODE_CONFIG").map(PathBuf::from));
+    let path = path.ok_or_else(|| bad("no configuration: set NODE_CONFIG or give --config FILE".into()))?;
+    let config = load(&path).map_err(bad)?;
+    let memory = usize::try_from(config.limits.memory_mb).unwrap_or(usize::MAX);
+    let _logs = logs::start_bounded("warn", false, memory.saturating_mul(LINES_PER_MB).clamp(64, 65_536));
+    crankpaddle_net::start(Some(1)); // There is one core, if that.
+    let address = config.listen;
+    let node = Node::start(config).map_err(|e| Failure { what: format!("{address}: {e}"), status: 1 })?;
+    let node = Arc::new(node);
+    let told = node.clone();
+    std::thread::spawn(move || {
+        for signal in signals.forever() {
+            if signal != SIGHUP {
+                told.drain();
+                continue;
+            }
+            match load(&path) {
+                Ok(config) => {
+                    told.reload(&config);
+                    tracing::info!(nameserver = %config.nameserver, "reloaded");
+                }
+                Err(what) => tracing::error!(what, "not reloaded; the configuration in force stays"),
+            }
+        }
+    });
+    let mut out = std::io::stdout().lock();
+    // Whoever started it may not listen.
+    let _ = writeln!(out, "listening {}", node.address()).and_then(|()| out.flush());
+    drop(out);
+    node.wait();
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/daemon/src/hub.rs
+++ b/crates/daemon/src/hub.rs
@@ -359,9 +359,10 @@
             match effect {
                 Effect::Answer(call, answer) => self.answer(call, &answer),
                 Effect::Notify(player, session, notice) => self.notify(player, session, notice),
-                Effect::SetUp { attempt, request, number, server, order } => {
+                Effect::SetUp { attempt, request, number, server, order, .. } => {
                     self.set_up(attempt, request, number, server, &order);
                 }
+                Effect::Holds { .. } => {} // Nothing is adopted here.
                 Effect::Abandon(attempt, server) => {
                     tracing::info!(attempt = attempt.0, server = server.0, "abandoned");
                     if let Some(live) = self.release(attempt, false) {
--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/names.rs
@@ -78,6 +78,7 @@
         give_up: open.give_up_ms.map_or(u64::MAX, milliseconds),
         hint: open.hint_ms.map(milliseconds),
         again: open.again,
+        moved: false, // The core knows by the key.
         key: open.key,
     })
 }
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -49,6 +49,45 @@
     waiting: usize,
 }
 
+impl Request {
+    fn new(ask: Ask, key: String, call: Option<Call>, gives_up: Time) -> Request {
+        Request {
+            ask,
+            key,
+            call,
+            player: None,
+            away: 0,
+            standing: Standing::Waiting,
+            failure: Failure::NoAnswer,
+            ran: false,
+            rung: 0,
+            attempts: 0,
+            out: None,
+            early: None,
+            gives_up,
+        }
+    }
+}
+
+impl Open {
+    fn ask(&self, request: RequestId, deadline: Time) -> Ask {
+        Ask {
+            request,
+            viewer: self.viewer,
+            class: self.class,
+            tenant: self.tenant,
+            title: self.title,
+            first_cell: self.first_cell,
+            copies: self.copies,
+            top: self.top,
+            deadline,
+            hint: self.hint,
+            again: self.again,
+            moved: self.moved,
+        }
+    }
+}
+
 /// A front's state. See the crate's page for how it is driven.
 pub struct Core {
     front: Front,
@@ -144,6 +183,8 @@
             Input::Open { call, open, received } => self.open(now, call, open, received, out),
             Input::Resume { call, tenant, key } => self.resume(call, tenant, key, out),
             Input::Close { call, session } => self.close(call, session, out),
+            Input::Adopt { player, open, server } => self.adopt(now, player, open, server, out),
+            Input::Leave(player) => self.leave(player, out),
             Input::PlayerGone(player) => self.player_gone(now, player),
             Input::Roster(kind, entries) => self.events.push_back(Event::Roster(kind, entries)),
             Input::SetUp(attempt, SetUp::Started(report)) => self.started(now, attempt, report, out),
@@ -259,16 +300,18 @@
         self.attempts.insert(attempt, id);
         let key = r.key.clone();
         let order = Order { key, class: r.ask.class, tenant: r.ask.tenant, title: r.ask.title, rung: r.rung };
-        out.push(Effect::SetUp { attempt, request: id, number, server, order });
+        let allowed = if timeout > 0 { now.0.saturating_add(timeout) } else { u64::MAX };
+        let until = Time(r.ask.deadline.0.min(allowed));
+        out.push(Effect::SetUp { attempt, request: id, number, server, order, until });
     }
 
     // ---- players ----
 
     fn open(&mut self, now: Time, call: Call, open: Open, received: Time, out: &mut Vec<Effect>) {
         let effect = self.settings.classes.get(usize::from(open.class)).map(|c| c.effect);
-        let named = (open.tenant, open.key);
+        let named = (open.tenant, open.key.clone());
         let known = self.keys.get(&named).copied();
-        let (mut again, mut moved) = (open.again, false);
+        let (mut again, mut moved) = (open.again, open.moved);
         if let Some((id, r)) = known.and_then(|id| Some((id, self.requests.get(&id)?))) {
             match keys::reopen(r.standing, effect) {
                 Reopen::Join | Reopen::TakeUp => return self.take_up(call, id, out),
@@ -306,36 +349,9 @@
         let gives_up = Time(received.0.saturating_add(patience));
         let margin = self.terms.answer_margin.min(patience / 2);
         let deadline = Time(gives_up.0 - margin);
-        let ask = Ask {
-            request: id,
-            viewer: open.viewer,
-            class: open.class,
-            tenant: open.tenant,
-            title: open.title,
-            first_cell: open.first_cell,
-            copies: open.copies,
-            top: open.top,
-            deadline,
-            hint: open.hint,
-            again,
-            moved,
-        };
+        let ask = Ask { again, moved, ..open.ask(id, deadline) };
         self.keys.insert(named.clone(), id);
-        let request = Request {
-            ask: ask.clone(),
-            key: named.1,
-            call: Some(call),
-            player: None,
-            away: 0,
-            standing: Standing::Waiting,
-            failure: Failure::NoAnswer,
-            ran: false,
-            rung: 0,
-            attempts: 0,
-            out: None,
-            early: None,
-            gives_up,
-        };
+        let request = Request::new(ask.clone(), named.1, Some(call), gives_up);
         self.requests.insert(id, request);
         self.waiting += 1;
         self.attach(id, call.player);
@@ -383,6 +399,37 @@
         out.push(Effect::Answer(call, if closed { Answer::Closed } else { Answer::Unknown }));
     }
 
+    /// A session that plays already is held from now on. Danger: the same is told twice, or one that this front set up
+    /// itself is told again; a second one under its key would be ended twice and counted twice.
+    fn adopt(&mut self, now: Time, player: PlayerId, open: Open, server: ServerId, out: &mut Vec<Effect>) {
+        let named = (open.tenant, open.key.clone());
+        if self.keys.contains_key(&named) {
+            return;
+        }
+        self.last_request += 1;
+        self.last_attempt += 1;
+        let (id, attempt) = (RequestId(self.last_request), AttemptId(self.last_attempt));
+        let gives_up = Time(now.0.saturating_add(open.give_up));
+        let ask = open.ask(id, gives_up);
+        let mut request = Request::new(ask.clone(), open.key, None, gives_up);
+        request.standing = Standing::Playing;
+        request.rung = self.settings.classes.get(usize::from(ask.class)).map_or(0, |c| c.floor);
+        (request.attempts, request.out, request.ran) = (1, Some((attempt, server, now)), true);
+        self.keys.insert(named, id);
+        self.requests.insert(id, request);
+        self.attempts.insert(attempt, id);
+        self.playing += 1;
+        self.attach(id, player);
+        out.push(Effect::Holds { player, attempt, server });
+        self.events.push_back(Event::Adopted(ask, server));
+    }
+
+    /// A player wants nothing any more of what it has here.
+    fn leave(&mut self, player: PlayerId, out: &mut Vec<Effect>) {
+        let ids = self.players.get(&player).map(|p| p.requests.clone()).unwrap_or_default();
+        ids.into_iter().for_each(|id| self.left(id, out));
+    }
+
     fn player_gone(&mut self, now: Time, player: PlayerId) {
         let Some(gone) = self.players.remove(&player) else { return };
         for id in gone.requests {
@@ -395,9 +442,14 @@
 
     /// A player did not come back for its session.
     fn stayed_away(&mut self, id: RequestId, loss: u32, out: &mut Vec<Effect>) {
-        let Some(r) = self.requests.get_mut(&id).filter(|r| r.player.is_none() && r.away == loss) else {
-            return;
-        };
+        if self.requests.get(&id).is_some_and(|r| r.player.is_none() && r.away == loss) {
+            self.left(id, out);
+        }
+    }
+
+    /// The viewer of this request is no more: what waits is withdrawn, what plays is ended.
+    fn left(&mut self, id: RequestId, out: &mut Vec<Effect>) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
         match (r.standing, r.out) {
             (Standing::Waiting, Some((attempt, server, _))) => {
                 out.push(Effect::Abandon(attempt, server));
@@ -533,8 +585,11 @@
 
     fn note(&mut self, attempt: AttemptId, note: Note) {
         let Some(request) = self.attempts.get(&attempt).copied() else { return };
-        let playing = self.requests.get(&request).filter(|r| r.standing == Standing::Playing);
-        if let Some((_, server, _)) = playing.and_then(|r| r.out) {
+        let playing = self.requests.get_mut(&request).filter(|r| r.standing == Standing::Playing);
+        if let Some((r, (_, server, _))) = playing.and_then(|r| r.out.map(|out| (r, out))) {
+            if let Note::Rung(rung) = note {
+                r.rung = rung;
+            }
             self.events.push_back(Event::Note { request, server, note });
         }
     }
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -1,7 +1,8 @@
 //! What goes into a core and what comes out of it. No choice is made in this file.
 use crankpaddle::{Leave, Listing, Note, Outcome, Report, RequestId, RosterKind, ServerId, Time};
 
-/// A player's connection, by whichever protocol it came. Never used twice.
+/// A player's connection, by whichever protocol it came; where sessions outlive connections, the session's own player.
+/// Never used twice.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PlayerId(pub u64);
 
@@ -43,6 +44,8 @@
     pub hint: Option<u64>,
     /// Whether the player says that it comes again.
     pub again: bool,
+    /// Whether the player says that it comes back from a move.
+    pub moved: bool,
 }
 
 /// How a set-up came out.
@@ -82,6 +85,18 @@
         /// The session.
         session: RequestId,
     },
+    /// A session that was under way before this front started plays at a server; nobody waits for an answer. Answered
+    /// by [`Effect::Holds`] unless its key is held already.
+    Adopt {
+        /// Whose it is.
+        player: PlayerId,
+        /// What was asked for.
+        open: Open,
+        /// Where it plays.
+        server: ServerId,
+    },
+    /// A player gives up what it waits for and ends what plays for it, at once and without an answer.
+    Leave(PlayerId),
     /// A player's connection is gone.
     PlayerGone(PlayerId),
     /// A list of servers.
@@ -225,6 +240,17 @@
         server: ServerId,
         /// What to set up.
         order: Order,
+        /// When the attempt will be given up.
+        until: Time,
+    },
+    /// A session that was adopted is held as this attempt from now on.
+    Holds {
+        /// Whose it is.
+        player: PlayerId,
+        /// Its attempt.
+        attempt: AttemptId,
+        /// Where it plays.
+        server: ServerId,
     },
     /// Stop waiting for an attempt and see that the server drops what it may have set up.
     Abandon(AttemptId, ServerId),
--- a/crates/net/src/outbox.rs
+++ b/crates/net/src/outbox.rs
@@ -21,6 +21,24 @@
         &self.socket
     }
 
+    /// Like [`Outbox::push`], but tells whether anything can have reached the peer: false only if not one byte went out
+    /// or ever will.
+    pub fn push_first(&self, bytes: &[u8]) -> bool {
+        {
+            let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
+            if pending.is_empty() {
+                return match self.socket.try_write(bytes) {
+                    Ok(n) => {
+                        pending.extend_from_slice(&bytes[n..]);
+                        true
+                    }
+                    Err(_) => false,
+                };
+            }
+        }
+        self.push(bytes)
+    }
+
     /// Sends, or keeps what the kernel does not take for [`Outbox::flush`]. Never waits. False if the peer was cut.
     pub fn push(&self, bytes: &[u8]) -> bool {
         // The lock is held over calls that do not wait.
--- a/crates/net/src/runtime.rs
+++ b/crates/net/src/runtime.rs
@@ -2,6 +2,7 @@
 use crate::clock;
 use may::coroutine;
 use may::sync::mpsc::Receiver;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{RecvTimeoutError, TryRecvError};
 use std::time::Duration;
 
@@ -22,12 +23,20 @@
 /// Nothing waits for less: may cuts times to whole milliseconds, and takes none for no bound.
 pub(crate) const SHORTEST: Duration = Duration::from_millis(1);
 
+static ONE_WORKER: AtomicBool = AtomicBool::new(false);
+
+/// Whether all coroutines run on one thread.
+pub(crate) fn has_one_worker() -> bool {
+    ONE_WORKER.load(Ordering::Relaxed)
+}
+
 /// Sets may up; without effect once it runs. `workers`: `None` takes one a core.
 pub fn start(workers: Option<usize>) {
     let config = may::config();
     config.set_stack_size(USUAL_WORDS);
     config.set_worker_pin(false);
     if let Some(workers) = workers {
+        ONE_WORKER.store(workers == 1, Ordering::Relaxed);
         config.set_workers(workers);
     }
 }
@@ -71,6 +80,11 @@
     }
 }
 
+/// Lets others run that can.
+pub fn yield_now() {
+    coroutine::yield_now();
+}
+
 /// Waits without holding a thread.
 pub fn sleep(time: Duration) {
     coroutine::sleep(time.max(SHORTEST));
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -168,6 +168,12 @@
         !self.is_shut() && matches!(again(|| self.tcp.inner().peek(&mut one)), Ok(None))
     }
 
+    /// Whether a connection that is read elsewhere is still up, as far as the kernel knows.
+    pub fn is_open(&self) -> bool {
+        let mut one = [0u8; 1];
+        !self.is_shut() && matches!(again(|| self.tcp.inner().peek(&mut one)), Ok(None | Some(1)))
+    }
+
     /// Sets when [`Socket::expire`] ends the connection: nanoseconds of [`clock::now`], `u64::MAX` for never.
     pub fn set_expiry(&self, at: u64) {
         self.expires.store(at, Ordering::Release);
@@ -212,7 +218,13 @@
 /// Frees a closed stream a while later. Danger: `wait_io` too hands the coroutine over first and then still reads from
 /// the stream (`RawIoBlock::subscribe`); a coroutine that wakes on another thread, ends and frees it meanwhile leaves
 /// that read to whatever lies there. Harm: a closed socket's descriptor is freed some 200 ms late.
+///
+/// With one worker a coroutine can't run on before the one thread is done with the wait, and descriptors may be few: then
+/// it is freed at once.
 fn retire(tcp: Box<TcpStream>) {
+    if crate::runtime::has_one_worker() {
+        return drop(tcp);
+    }
     let now = clock::now();
     let mut freed = Vec::new();
     {
@@ -249,9 +261,22 @@
     listener: TcpListener,
     until: Arc<AtomicBool>,
     each: impl Fn(Socket) + Send + Sync + 'static,
+) {
+    accept_while_room(listener, until, || true, each);
+}
+
+/// The same, but only while there is `room`, which is asked before each; what comes meanwhile waits with the kernel.
+pub fn accept_while_room(
+    listener: TcpListener,
+    until: Arc<AtomicBool>,
+    room: impl Fn() -> bool + Send + 'static,
+    each: impl Fn(Socket) + Send + Sync + 'static,
 ) {
     let each = Arc::new(each);
     spawn(Stack::Usual, move || loop {
+        while !room() {
+            crate::sleep(LOOKS.0);
+        }
         let accepted = listener.accept();
         if until.load(Ordering::Acquire) {
             return;
@@ -260,6 +285,8 @@
             Ok((tcp, _)) => {
                 let each = each.clone();
                 spawn(Stack::Usual, move || each(Socket::new(tcp)));
+                // Danger: while connections wait, accept never does, and nothing else would run.
+                crate::yield_now();
             }
             // Danger: out of file descriptors, accept fails at once and for long; a loop without a pause would take
             // the core that could close some.
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,94 @@
+//! The front node: the session front's core on the platform's sockets.
+//!
+//! One coroutine, the [`hub`], owns the core and is the only one that hears and acts; all others read one socket each,
+//! tell the hub what they read and send what it gives them. Which server, rung, retry, refusal and advice is said by
+//! the decision module behind [`crankpaddle_front::Core`]; nothing here chooses any of them.
+//!
+//! - [`viewers`]: the listener and the viewers' connections;
+//! - [`links`]: connections to servers;
+//! - [`poller`]: the directory;
+//! - [`health`]: what a server's silence says of the sessions there, pure;
+//! - [`budget`]: what the machine's limits leave for each of them, pure.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+mod budget;
+mod health;
+mod hub;
+mod links;
+mod poller;
+mod shared;
+mod viewers;
+
+use crankpaddle_net::{accept_while_room, listen, spawn, Stack};
+use crankpaddle_node_protocol::config::Config;
+use shared::{Msg, Shared};
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{mpsc, Arc, Mutex, PoisonError};
+
+/// A front node that runs.
+pub struct Node {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    stopped: Arc<AtomicBool>,
+    done: Mutex<mpsc::Receiver<()>>,
+}
+
+impl Node {
+    /// Starts a node: it takes set-ups when this returns. [`crankpaddle_net::start`] must have been called before.
+    ///
+    /// # Errors
+    /// Its address can't be listened on, or the directory can't be asked.
+    pub fn start(config: Config) -> io::Result<Node> {
+        let listener = listen(config.listen)?;
+        let address = listener.local_addr()?;
+        let (shared, inbox) = Shared::new(config);
+        let (finished, done) = mpsc::channel();
+        let stopped = Arc::new(AtomicBool::new(false));
+        let hub = hub::Hub::new(shared.clone());
+        poller::follow(shared.clone(), stopped.clone())?;
+        spawn(Stack::Large, move || {
+            hub.run(&inbox);
+            let _ = finished.send(()); // Nobody may wait.
+        });
+        let (for_room, of_viewers) = (shared.clone(), shared.clone());
+        accept_while_room(
+            listener,
+            stopped.clone(),
+            move || for_room.viewers.make_room(),
+            move |socket| viewers::serve(socket, &of_viewers),
+        );
+        tracing::info!(%address, "listening");
+        Ok(Node { address, shared, stopped, done: Mutex::new(done) })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Takes over what may change while it runs: where the directory is asked.
+    pub fn reload(&self, config: &Config) {
+        self.shared.set_nameserver(config.nameserver);
+    }
+
+    /// Takes nothing new from now on and ends when nothing is owed any more.
+    pub fn drain(&self) {
+        self.shared.tell(Msg::Drain);
+    }
+
+    /// Waits for the end that [`Node::drain`] brings. Call on a thread, not in a coroutine.
+    pub fn wait(&self) {
+        let _ = self.done.lock().unwrap_or_else(PoisonError::into_inner).recv();
+        self.stopped.store(true, Ordering::Release);
+        let _ = TcpStream::connect(self.address); // Wakes the listener, which finds that it is over.
+    }
+
+    /// What is held now; all of it goes back to nothing when nothing is under way.
+    pub fn counts(&self) -> Counts {
+        self.shared.counts()
+    }
+}
+
+pub use shared::Counts;
--- /dev/null
+++ b/crates/node/src/viewers.rs
@@ -0,0 +1,130 @@
+//! Viewers' connections: reading them, and closing those that are of no use when there are too many.
+use crate::shared::{count, Msg, Shared};
+use crankpaddle_net::{clock, yield_now, Outbox, Socket};
+use crankpaddle_node_protocol::viewers::Decoder;
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// A viewer's connection; never used twice.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct ConnId(pub u64);
+
+/// Who says nothing, or begins a message and does not end it, is closed after this time. Bad clients are owed an answer or
+/// a close within 3 s.
+const SILENCE: u64 = 2_000_000_000;
+/// Bytes asked of the kernel at once; then others get their turn.
+const PIECE: usize = 4096;
+
+/// A viewer's connection as all see it.
+pub(crate) struct Conn {
+    pub id: ConnId,
+    pub outbox: Outbox,
+    /// Set-ups on it that wait for an answer.
+    pub open: AtomicUsize,
+    /// Whether a whole message came.
+    pub spoke: AtomicBool,
+    /// When it last came to anything.
+    pub used: AtomicU64,
+}
+
+/// All viewers' connections.
+pub(crate) struct Viewers {
+    most: usize,
+    last: AtomicU64,
+    conns: Mutex<BTreeMap<ConnId, Arc<Conn>>>,
+}
+
+impl Viewers {
+    pub fn new(most: usize) -> Viewers {
+        Viewers { most, last: AtomicU64::new(0), conns: Mutex::default() }
+    }
+
+    fn conns(&self) -> MutexGuard<'_, BTreeMap<ConnId, Arc<Conn>>> {
+        self.conns.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn count(&self) -> usize {
+        self.conns().len()
+    }
+
+    /// Whether one more connection can be taken; else the one of least use is closed, so that it soon can.
+    ///
+    /// Danger: hundreds that connect and say nothing would take the descriptors that servers need, and keep honest
+    /// viewers out. Harm: in a crowd an honest connection that has not spoken yet may be closed; it is the oldest of
+    /// them that goes. A set-up that crosses the close of a connection is sent again by its viewer, so one that was idle
+    /// for long goes before one that just spoke.
+    pub fn make_room(&self) -> bool {
+        let conns = self.conns();
+        if conns.len() < self.most {
+            return true;
+        }
+        let idle =
+            conns.values().filter(|c| c.open.load(Ordering::Relaxed) == 0 && !c.outbox.socket().is_shut());
+        let first = idle.min_by_key(|c| (c.spoke.load(Ordering::Relaxed), c.used.load(Ordering::Relaxed)));
+        if let Some(conn) = first {
+            conn.outbox.socket().shut();
+        }
+        false
+    }
+}
+
+/// Reads a viewer's connection until it ends.
+pub(crate) fn serve(socket: Socket, shared: &Arc<Shared>) {
+    let now = clock::now();
+    let socket = Arc::new(socket);
+    socket.set_expiry(now.saturating_add(SILENCE));
+    shared.sweeper.watch(&socket);
+    let conn = Arc::new(Conn {
+        id: ConnId(shared.viewers.last.fetch_add(1, Ordering::Relaxed) + 1),
+        outbox: Outbox::new(socket.clone(), shared.budget.outbox),
+        open: AtomicUsize::new(0),
+        spoke: AtomicBool::new(false),
+        used: AtomicU64::new(now),
+    });
+    shared.viewers.conns().insert(conn.id, conn.clone());
+    shared.tell(Msg::Joined(conn.clone()));
+    read(&socket, &conn, shared);
+    socket.shut();
+    shared.viewers.conns().remove(&conn.id);
+    shared.tell(Msg::Gone(conn.id));
+}
+
+fn read(socket: &Socket, conn: &Conn, shared: &Shared) {
+    let (mut decoder, mut messages, mut amid) = (Decoder::default(), Vec::new(), false);
+    let mut piece = [0u8; PIECE];
+    loop {
+        conn.outbox.flush();
+        let got = match socket.try_read(&mut piece) {
+            Ok(None) => {
+                socket.wait();
+                continue;
+            }
+            Ok(Some(0)) | Err(_) => return,
+            Ok(Some(n)) => n,
+        };
+        let now = clock::now();
+        let fed = decoder.feed(&piece[..got], &mut messages);
+        let whole = !messages.is_empty();
+        if whole {
+            conn.spoke.store(true, Ordering::Relaxed);
+            conn.used.store(now, Ordering::Relaxed);
+        }
+        for message in messages.drain(..) {
+            shared.tell(Msg::Viewer(conn.id, message, now));
+        }
+        if let Err(fault) = fed {
+            tracing::debug!(conn = conn.id.0, %fault, "a viewer's connection is of no use");
+            return count(&shared.shed.unreadable);
+        }
+        // A message gets its time from its first byte, not anew with each.
+        match (decoder.is_amid(), amid && !whole) {
+            (true, false) => socket.set_expiry(now.saturating_add(SILENCE)),
+            (false, _) if whole => socket.set_expiry(u64::MAX),
+            _ => {}
+        }
+        amid = decoder.is_amid();
+        // Danger: one that sends at full speed always has something to read, and nobody else would run.
+        yield_now();
+    }
+}
--- a/crates/simhost/src/facts.rs
+++ b/crates/settings/src/lib.rs
@@ -1,4 +1,7 @@
-//! The settings that come with an instance's first message, from JSON to the library's terms.
+//! The settings that a front is given at its start, from JSON to the library's terms. The simulator's adapter and the
+//! front node read them with the same code, so that both decide on the same figures.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 use crankpaddle::{Class, Effect, Group, LoadField, Settings};
 use serde::Deserialize;
 
@@ -9,6 +12,10 @@
     siblings: u32,
     #[serde(default)]
     az: u8,
+    #[serde(default)]
+    azs: Vec<String>,
+    #[serde(default)]
+    kinds: Vec<String>,
     services: Vec<Service>,
     family_info: Family,
     limits: Limits,
@@ -28,7 +35,11 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct Service {
+    #[serde(default)]
+    name: String,
     aim: u64,
+    #[serde(default)]
+    deadline: u64,
     semantics: Semantics,
     #[serde(default)]
     key_scope: Scope,
@@ -92,6 +103,10 @@
 #[serde(rename_all = "kebab-case")]
 struct Limits {
     attempts_cap: u32,
+    #[serde(default = "quarter_second")]
+    connect_timeout: u64,
+    #[serde(default = "half_minute")]
+    conn_idle: u64,
     #[serde(default)]
     cancel: bool,
     #[serde(default)]
@@ -135,6 +150,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct Party {
+    #[serde(default)]
+    name: String,
     #[serde(default)]
     quota_per_s: f64,
 }
@@ -143,8 +160,42 @@
     1.0
 }
 
-/// Reads the settings and the names of a load report's fields.
-pub fn parse(text: &[u8]) -> Result<(Settings, Vec<LoadField>), String> {
+fn quarter_second() -> u64 {
+    250_000_000
+}
+
+fn half_minute() -> u64 {
+    30_000_000_000
+}
+
+/// What was read: the module's settings, and the names that stand for its numbers outside of it.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    /// The module's settings.
+    pub settings: Settings,
+    /// Figures of a load report, in the order in which the simulator sends them, with their names.
+    pub fields: Vec<(String, LoadField)>,
+    /// Names of the classes.
+    pub classes: Vec<String>,
+    /// How long a viewer waits at most, for each class, nanoseconds.
+    pub deadlines: Vec<u64>,
+    /// Names of the tenants.
+    pub tenants: Vec<String>,
+    /// Names of the zones.
+    pub zones: Vec<String>,
+    /// Names of the kinds of servers.
+    pub kinds: Vec<String>,
+    /// A connection that does not come up within this time never will, nanoseconds.
+    pub connect_timeout: u64,
+    /// Idle connections are closed after this time, nanoseconds.
+    pub idle: u64,
+}
+
+/// Reads the settings.
+///
+/// # Errors
+/// They are no JSON, lack what the module needs, or contradict themselves.
+pub fn parse(text: &[u8]) -> Result<Fleet, String> {
     let f: Facts = serde_json::from_slice(text).map_err(|e| e.to_string())?;
     let family = f.family_info;
     for (name, n) in [
@@ -179,14 +230,19 @@
         seats: family.licence_cap.get(i).copied().unwrap_or(0),
         live: family.is_live.get(i).copied().unwrap_or(false),
     });
-    let fields = f.telemetry.fields.iter().map(|name| match name.as_str() {
+    let field = |name: &str| match name {
         "active" => LoadField::Streams,
         "cpu" => LoadField::LinkUtil,
         "x0" => LoadField::LinkAsked,
         "x1" => LoadField::UplinkAsked,
         _ => LoadField::Other,
+    };
+    let fields = f.telemetry.fields.into_iter().map(|name| {
+        let field = field(&name);
+        (name, field)
     });
-    let fields = fields.collect();
+    let names = f.services.iter().map(|s| s.name.clone()).collect();
+    let deadlines = f.services.iter().map(|s| s.deadline).collect();
     let rationed = f.rules.extra_floor.is_some() || f.rules.extra_share.is_some();
     let settings = Settings {
         index: f.index,
@@ -226,5 +282,15 @@
         cross_zone_price: f.prices.cross_zone,
         move_price: f.prices.moves,
     };
-    Ok((settings, fields))
+    Ok(Fleet {
+        settings,
+        fields: fields.collect(),
+        classes: names,
+        deadlines,
+        tenants: f.parties.into_iter().map(|p| p.name).collect(),
+        zones: f.azs,
+        kinds: f.kinds,
+        connect_timeout: f.limits.connect_timeout,
+        idle: f.limits.conn_idle,
+    })
 }
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -1,5 +1,4 @@
 //! Hosts [`Front`]s on the bench's wire. An adapter only: every decision is the library's.
-mod facts;
 mod wire;
 
 use crankpaddle::{Action, Event, Front, Listing, LoadField, RosterKind, Time};
@@ -26,7 +25,9 @@
     fn record(&mut self, now: Time, record: Record) -> Result<(), String> {
         match record {
             Record::Spawn { who, seed, facts } => {
-                let (settings, fields) = facts::parse(facts).map_err(|e| format!("settings: {e}"))?;
+                let fleet = crankpaddle_settings::parse(facts).map_err(|e| format!("settings: {e}"))?;
+                let fields = fleet.fields.into_iter().map(|(_, field)| field).collect();
+                let settings = fleet.settings;
                 self.actions.clear();
                 match catch_unwind(|| Front::new(settings, seed, now)) {
                     Ok(front) => drop(self.instances.insert(who, Instance { front, fields })),
