--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -333,6 +333,7 @@
         }
         of.open.fetch_add(1, Ordering::Relaxed);
         session.blob.clone_from(blob);
+        tracing::trace!(%tag, conn = conn.0, ask = ?start.opts, "asked");
         self.last_player += 1;
         self.sessions.insert(player, session);
         self.tags.insert(tag, player);
@@ -379,6 +380,7 @@
     }
 
     fn finish(&mut self, conn: ConnId, tag: Tag, why: u16) {
+        tracing::trace!(%tag, conn = conn.0, why, "a viewer ends");
         if let Some(player) = self.tags.get(&tag).copied() {
             let Some(session) = self.sessions.get(&player) else { return };
             // Only who waits for the answer may give the set-up up; a session that stands belongs to no connection.
@@ -398,6 +400,7 @@
     }
 
     fn gone(&mut self, conn: ConnId) {
+        tracing::trace!(conn = conn.0, "a viewer's connection is gone");
         self.conns.remove(&conn);
         self.served.retain(|c| *c != conn);
         let waits = self.sessions.iter().filter(|(_, s)| s.conn == conn && !s.stands).map(|(p, _)| *p);
@@ -434,6 +437,8 @@
     }
 
     fn answer(&mut self, player: PlayerId, answer: &Answer) {
+        let tag = self.sessions.get(&player).map(|s| s.tag);
+        tracing::trace!(?tag, ?answer, "answered");
         match answer {
             Answer::Plays { .. } => {
                 let Some(session) = self.sessions.get_mut(&player) else { return };
@@ -472,6 +477,7 @@
         };
         let Some(bytes) = self.sessions.get(&player).and_then(|s| bytes(s.tag)) else { return };
         let Some(session) = self.forget(player) else { return };
+        tracing::trace!(tag = %session.tag, conn = session.conn.0, ?notice, "a session is over");
         self.tell_viewers(session.conn, bytes);
     }
 
@@ -643,6 +649,7 @@
         if !outbox.socket().is_open() || !outbox.push_first(&bytes) {
             return false;
         }
+        tracing::trace!(tag = %live.tag, server = live.server.0, link = id.0, rung = live.rung, "set-up sent");
         (live.link, live.sent) = (Some(id), Some(now));
         link.open.push(attempt);
         if let Some(server) = self.servers.get_mut(&link.server) {
@@ -662,6 +669,7 @@
     /// Takes an attempt out of all that knows it.
     fn drop_live(&mut self, attempt: AttemptId) -> Option<Live> {
         let live = self.live.remove(&attempt)?;
+        tracing::trace!(tag = %live.tag, server = live.server.0, answered = live.answered, "attempt over");
         if let Some(server) = self.servers.get_mut(&live.server) {
             if server.held.get(&live.tag) == Some(&attempt) {
                 server.held.remove(&live.tag);
@@ -733,6 +741,7 @@
             return outbox.into_iter().for_each(|outbox| outbox.socket().shut());
         };
         let server = link.server;
+        tracing::trace!(link = id.0, server = server.0, ?how, "connected or not");
         let lost = self.servers.get_mut(&server).is_some_and(|s| s.health.dialed(now, how));
         if outbox.is_none() {
             self.link_down(id);
@@ -759,6 +768,7 @@
     /// A link is no more: what was out on it broke off, each once.
     fn link_down(&mut self, id: LinkId) {
         let Some(link) = self.links.remove(&id) else { return };
+        tracing::trace!(link = id.0, server = link.server.0, open = link.open.len(), "a link is down");
         link.outbox.iter().for_each(|outbox| outbox.socket().shut());
         let Some(server) = self.servers.get_mut(&link.server) else { return };
         server.links.retain(|l| *l != id);
@@ -833,6 +843,8 @@
         let Some(at) = self.servers.get_mut(&server) else { return };
         at.health.heard(now);
         let held = message.session.and_then(|tag| at.held.get(&tag).copied());
+        tracing::trace!(link = id.0, server = server.0, tag = ?message.session, kind = ?message.kind, cseq = message.cseq,
+            headers = ?message.headers, known = held.is_some(), "a server says");
         match &message.kind {
             Kind::Response(100..=199) => {}
             Kind::Response(status) => match message.cseq {
