--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -26,6 +26,7 @@
 const ALIKE: (f64, f64) = (0.2, 0.05); // Links this close in arrivals and room are sized alike.
 const SEARCH: usize = 200; // Trades of slots at most in a climb.
 const LUMPS: u32 = 16; // A climb's first trades move this part of all slots.
+const PACE: f64 = 0.1; // Pauses are cut to this part at most.
 const RAISE_PAUSE: u64 = 30 * SECOND; // A session is raised once in this time at most.
 const REPAID: f64 = 6.0; // A raise must be watched for so many times what a change of rung costs.
 const LOWER_PAUSE: u64 = 12 * SECOND; // A lowered session is raised no sooner.
@@ -475,13 +476,23 @@
         self.seconds / self.ends.max(1.0)
     }
 
+    /// Departure: pauses are for sessions of half a minute; where they are seen to be shorter, all goes faster.
+    fn pace(&self) -> f64 {
+        (self.length() / FIRST_LENGTH.0).clamp(PACE, 1.0)
+    }
+
+    fn paced(&self, pause: u64) -> u64 {
+        (pause as f64 * self.pace()) as u64
+    }
+
     /// Sizes a link's regions when it is looked at and their sizing is old, so that the work is spread.
     /// Its own count of arrivals weighs as much as the mean once it expects one.
     fn size(&mut self, now: Time, id: ServerId) {
         let mean = self.arrivals.0 / self.sums.up.max(1.0);
         let load = mean / self.arrivals.1.max(1.0) * self.sums.scale * self.length();
+        let resize = self.paced(RESIZE);
         let Some(server) = self.servers.get_mut(&id) else { return };
-        if server.sized.is_some_and(|t| since(now, t) < RESIZE) {
+        if server.sized.is_some_and(|t| since(now, t) < resize) {
             return;
         }
         server.sized = Some(now);
@@ -661,7 +672,7 @@
             let held = session.rung;
             let sure = self.offer(&session.ask, id, Some(held)).filter(|rung| *rung > held);
             if let Some(rung) = sure.or_else(|| self.lucky(id, request).filter(|_| news)) {
-                self.set_rung(now, request, rung, RAISE_PAUSE, out);
+                self.set_rung(now, request, rung, self.paced(RAISE_PAUSE), out);
             }
         }
     }
@@ -685,7 +696,7 @@
         let lower = session.playing && !session.closed && session.rung > top;
         self.sessions.entry(request).and_modify(|s| s.ask.top = top);
         if lower {
-            self.set_rung(now, request, top, LOWER_PAUSE, out);
+            self.set_rung(now, request, top, self.paced(LOWER_PAUSE), out);
         }
     }
 
@@ -712,7 +723,7 @@
         steps.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (_, saved, request, rung) in steps {
             if need > f64::from(self.rng.0.rand_float()) * saved {
-                self.set_rung(now, request, rung, LOWER_PAUSE, out);
+                self.set_rung(now, request, rung, self.paced(LOWER_PAUSE), out);
             }
             need -= saved;
         }
@@ -857,7 +868,7 @@
         self.ticked = Some(now);
         out.push(Action::Wake { at: after(now, SECOND), token: 0 });
         let rate = self.arrivals.0 / self.arrivals.1.max(1.0);
-        let kept = (-past * (1.0 / COUNTED.0).min(rate / COUNTED.1)).exp();
+        let kept = (-past * (1.0 / (COUNTED.0 * self.pace())).min(rate / COUNTED.1)).exp();
         self.arrivals = (self.arrivals.0 * kept, self.arrivals.1 * kept + past);
         self.servers.values_mut().for_each(|s| s.arrivals *= kept);
         if self.s.must_ask && since(now, self.listed) > self.s.ask_within / 2 {
