One broken connection is not a dead server; the module hears the same as from the simulator

A set-up whose connection broke or brought noise ended as a reset, which the module takes for the server's death and keeps it cold for up to two warm-ups. Now it is an error while the process is seen to live (it sent the noise, or another connection stands). A new connection that is reset before a byte was written is tried once more.

--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -8,6 +8,9 @@
 };
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
+/// Sees the events that the module gets.
+pub type Tap = Box<dyn FnMut(Time, &Event) + Send>;
+
 /// What holds for a core beside the module's settings. Times in nanoseconds.
 #[derive(Clone, Debug)]
 pub struct Terms {
@@ -112,7 +115,8 @@
     draining: bool,
     now: Time,                        // Of the call under way.
     held_at_home: BTreeSet<(u8, u8)>, // Zones and classes that may not go there.
-    events: VecDeque<Event>,          // For the module, in order.
+    tap: Option<Tap>,
+    events: VecDeque<Event>, // For the module, in order.
     actions: Vec<Action>,
 }
 
@@ -144,11 +148,17 @@
             draining: false,
             now,
             held_at_home: BTreeSet::new(),
+            tap: None,
             events: VecDeque::new(),
             actions: Vec::new(),
         }
     }
 
+    /// Shows each event to `tap` before the module gets it: for tests that compare what drives it.
+    pub fn set_tap(&mut self, tap: Tap) {
+        self.tap = Some(tap);
+    }
+
     /// Requests that have no answer yet.
     pub fn waiting(&self) -> usize {
         self.waiting
@@ -224,6 +234,9 @@
     /// Gives the module what waits for it and carries its actions out, until nothing is left of either.
     fn decide(&mut self, now: Time, out: &mut Vec<Effect>) {
         while let Some(event) = self.events.pop_front() {
+            if let Some(tap) = &mut self.tap {
+                tap(now, &event);
+            }
             let mut actions = std::mem::take(&mut self.actions);
             self.front.handle(now, event, &mut actions);
             for action in actions.drain(..) {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -22,8 +22,8 @@
 pub mod overload;
 mod timers;
 
-pub use crate::core::{spread, Core, Terms};
+pub use crate::core::{spread, Core, Tap, Terms};
 pub use crankpaddle::{
-    Leave, Listing, Note, Outcome, Phase, Report, RequestId, RosterKind, ServerId, Settings, Time,
+    Event, Leave, Listing, Note, Outcome, Phase, Report, RequestId, RosterKind, ServerId, Settings, Time,
 };
 pub use messages::*;
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -5,7 +5,7 @@
 use crate::viewers::{Conn, ConnId};
 use crankpaddle_front::{
     Answer, AttemptId, Call, Core, Effect, Input, Listing, Note, Notice, Open, Order, Outcome, OverReason,
-    Phase, PlayerId, Refusal, Report, RosterKind, ServerId, SetUp, Terms, Time,
+    Phase, PlayerId, Refusal, Report, RosterKind, ServerId, SetUp, Tap, Terms, Time,
 };
 use crankpaddle_net::{clock, recv_until, sleep, Outbox};
 use crankpaddle_node_protocol::directory::{Entry, List, State};
@@ -44,6 +44,8 @@
 const ABANDONED_FOR: u64 = 10 * SECOND;
 /// After SIGTERM requests still come on their way.
 const STILL_COMING: u64 = 900 * MILLISECOND;
+/// Connections looked for, for one set-up of which nothing was written.
+const MOST_TRIES: u32 = 2;
 /// Connections to one server at most, each with one set-up out; beyond, set-ups share.
 const MOST_LINKS: usize = 8;
 
@@ -67,6 +69,7 @@
     until: Time,
     sent: Option<u64>, // When it was written; before, it can't have run.
     answered: bool,
+    tries: u32, // Connections looked for.
 }
 
 struct Link {
@@ -123,9 +126,11 @@
 }
 
 impl Hub {
-    pub fn new(shared: Arc<Shared>) -> Hub {
+    pub fn new(shared: Arc<Shared>, tap: Option<Tap>) -> Hub {
         let config = &shared.config;
-        let core = Core::new(config.fleet.settings.clone(), terms(&shared), config.seed, Time(clock::now()));
+        let mut core =
+            Core::new(config.fleet.settings.clone(), terms(&shared), config.seed, Time(clock::now()));
+        tap.into_iter().for_each(|tap| core.set_tap(tap));
         let known = config.known.clone();
         let mut hub = Hub {
             core,
@@ -208,7 +213,7 @@
             Msg::Gone(conn) => self.gone(conn),
             Msg::Dialed(link, how, outbox) => self.dialed(link, how, outbox),
             Msg::Server(link, message) => self.server(link, &message),
-            Msg::LinkDown(link) => self.link_down(link),
+            Msg::LinkDown(link, spoilt) => self.link_ended(link, spoilt),
             Msg::List(list) => self.list(list, RosterKind::Delta),
             Msg::Drain => {
                 if self.drained.is_none() {
@@ -583,8 +588,21 @@
         at.held.insert(tag, attempt);
         at.abandoned.remove(&tag);
         let rung = order.rung;
-        let live = Live { player, tag, server, link: None, rung, until, sent: None, answered: false };
+        let live =
+            Live { player, tag, server, link: None, rung, until, sent: None, answered: false, tries: 0 };
         self.live.insert(attempt, live);
+        self.dispatch(attempt);
+    }
+
+    /// Finds a link for a set-up that was not written yet. Danger: a connection may be reset right when it is new, and the
+    /// server be taken for one that can't be connected to; so that is tried once more.
+    fn dispatch(&mut self, attempt: AttemptId) {
+        let Some(live) = self.live.get_mut(&attempt) else { return };
+        let server = live.server;
+        live.tries += 1;
+        if live.tries > MOST_TRIES {
+            return self.set_up_ended(attempt, Outcome::ConnectFailed, Report::new());
+        }
         // Each set-up has a connection of its own while there are enough: a spoilt answer then spoils no other. The one
         // used last and free; else a new one; else one that is shared.
         let free = |l: &Link| l.outbox.is_some() && l.open.is_empty() && l.stale.is_none();
@@ -753,10 +771,19 @@
             return;
         }
         (link.outbox, link.heard) = (outbox, now);
+        if link.open.is_empty() {
+            // It was only to see whether the server lives. Older ones with nothing out on them go: whatever made it
+            // silent, this one is known to be good.
+            let idle = |l: &&LinkId| **l != id && self.links.get(l).is_some_and(|l| l.open.is_empty());
+            let older = self.servers.get(&server).map(|s| s.links.iter().filter(idle).copied().collect());
+            let older: Vec<LinkId> = older.unwrap_or_default();
+            older.into_iter().for_each(|link| self.link_down(link));
+        }
+        let Some(link) = self.links.get_mut(&id) else { return };
         for attempt in std::mem::take(&mut link.open) {
             let live = self.live.get(&attempt).is_some_and(|l| l.link == Some(id) && l.sent.is_none());
             if live && !self.write_set_up(attempt, id) {
-                self.set_up_ended(attempt, Outcome::ConnectFailed, Report::new());
+                self.dispatch(attempt);
             }
         }
         let unsent = self.servers.get_mut(&server).map(|s| std::mem::take(&mut s.unsent));
@@ -765,9 +792,21 @@
         }
     }
 
-    /// A link is no more: what was out on it broke off, each once.
     fn link_down(&mut self, id: LinkId) {
+        self.link_ended(id, false);
+    }
+
+    /// A link is no more: what was out on it broke off, each once. `spoilt`: what came on it could not be read.
+    ///
+    /// Danger: a connection that breaks is how a process dies, and the module then takes its server for cold; but one
+    /// connection may break, or bring noise, while the process lives. It is seen to live by what it just sent or by another
+    /// connection that stands; then the set-up ends as one that the server failed. Either may have run. Harm: where a
+    /// dying process closes its connections one by one, the first may be laid to the connection alone.
+    fn link_ended(&mut self, id: LinkId, spoilt: bool) {
         let Some(link) = self.links.remove(&id) else { return };
+        let stands = |l: &Link| l.outbox.as_ref().is_some_and(|o| o.socket().is_open()) && l.stale.is_none();
+        let lives = spoilt || self.link_of(link.server, stands).is_some();
+        let outcome = if lives { Outcome::Error } else { Outcome::Reset };
         tracing::trace!(link = id.0, server = link.server.0, open = link.open.len(), "a link is down");
         link.outbox.iter().for_each(|outbox| outbox.socket().shut());
         let Some(server) = self.servers.get_mut(&link.server) else { return };
@@ -775,12 +814,12 @@
         for attempt in link.open {
             let Some(live) = self.live.get(&attempt) else { continue };
             if live.sent.is_none() {
-                self.set_up_ended(attempt, Outcome::ConnectFailed, Report::new());
+                self.set_up_ended(attempt, Outcome::ConnectFailed, Report::new()); // It never came up.
                 continue;
             }
             // Danger: the answer may have been on its way, and the session would stand there without a viewer.
             let tag = live.tag;
-            self.set_up_ended(attempt, Outcome::Reset, Report::new());
+            self.set_up_ended(attempt, outcome, Report::new());
             self.send_server(link.server, None, rtsp::release(tag, cause::CUT));
         }
         self.watch(link.server, clock::now());
@@ -829,7 +868,17 @@
         at.standing += 1;
         at.health.begins(now);
         let until = Time(now);
-        let live = Live { player, tag, server, link: None, rung: 0, until, sent: Some(now), answered: true };
+        let live = Live {
+            player,
+            tag,
+            server,
+            link: None,
+            rung: 0,
+            until,
+            sent: Some(now),
+            answered: true,
+            tries: 0,
+        };
         self.live.insert(attempt, live);
     }
 
@@ -909,7 +958,7 @@
         let Some(text) = message.text() else {
             // It ran, but what it says can't be passed on in a viewer's line.
             count(&self.shared.shed.broken_links);
-            return self.link_down(link);
+            return self.link_ended(link, true);
         };
         let Some(live) = self.live.get_mut(&attempt) else { return };
         live.answered = true;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 mod shared;
 mod viewers;
 
+use crankpaddle_front::Tap;
 use crankpaddle_net::{accept_while_room, listen, spawn, Stack};
 use crankpaddle_node_protocol::config::Config;
 use shared::{Msg, Shared};
@@ -41,12 +42,20 @@
     /// # Errors
     /// Its address can't be listened on, or the directory can't be asked.
     pub fn start(config: Config) -> io::Result<Node> {
+        Node::start_tapped(config, None)
+    }
+
+    /// The same, and shows each event to `tap` before the module gets it.
+    ///
+    /// # Errors
+    /// As [`Node::start`].
+    pub fn start_tapped(config: Config, tap: Option<Tap>) -> io::Result<Node> {
         let listener = listen(config.listen)?;
         let address = listener.local_addr()?;
         let (shared, inbox) = Shared::new(config);
         let (finished, done) = mpsc::channel();
         let stopped = Arc::new(AtomicBool::new(false));
-        let hub = hub::Hub::new(shared.clone());
+        let hub = hub::Hub::new(shared.clone(), tap);
         poller::follow(shared.clone(), stopped.clone())?;
         spawn(Stack::Large, move || {
             hub.run(&inbox);
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -21,10 +21,10 @@
                 let socket = Arc::new(socket);
                 let outbox = Arc::new(Outbox::new(socket.clone(), shared.budget.outbox));
                 shared.tell(Msg::Dialed(link, Dialed::Up, Some(outbox.clone())));
-                read(&socket, &outbox, link, &shared);
+                let spoilt = read(&socket, &outbox, link, &shared);
                 socket.shut();
                 shared.links.fetch_sub(1, Ordering::Relaxed);
-                shared.tell(Msg::LinkDown(link));
+                shared.tell(Msg::LinkDown(link, spoilt));
             }
             Err(e) => {
                 shared.links.fetch_sub(1, Ordering::Relaxed);
@@ -41,7 +41,8 @@
     });
 }
 
-fn read(socket: &Socket, outbox: &Outbox, link: LinkId, shared: &Shared) {
+/// Reads until the connection ends; true if that is because what came could not be read.
+fn read(socket: &Socket, outbox: &Outbox, link: LinkId, shared: &Shared) -> bool {
     let (mut decoder, mut messages) = (Decoder::default(), Vec::new());
     let (mut piece, mut turns) = ([0u8; PIECE], Turns::default());
     loop {
@@ -52,7 +53,7 @@
                 turns.waited();
                 continue;
             }
-            Ok(Some(0)) | Err(_) => return,
+            Ok(Some(0)) | Err(_) => return decoder.is_amid(),
             Ok(Some(n)) => n,
         };
         let fed = decoder.feed(&piece[..got], &mut messages);
@@ -61,7 +62,8 @@
         }
         if let Err(fault) = fed {
             tracing::debug!(link = link.0, %fault, "a server's connection is of no use");
-            return count(&shared.shed.broken_links);
+            count(&shared.shed.broken_links);
+            return true;
         }
         turns.took();
     }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -28,8 +28,8 @@
     Dialed(LinkId, Dialed, Option<Arc<Outbox>>),
     /// A server said something.
     Server(LinkId, rtsp::Message),
-    /// A connection to a server is gone.
-    LinkDown(LinkId),
+    /// A connection to a server is gone; whether because what came on it could not be read.
+    LinkDown(LinkId, bool),
     /// The directory told a list.
     List(List),
     /// Take nothing new.
--- /dev/null
+++ b/crates/node/tests/events.rs
@@ -0,0 +1,293 @@
+//! What the decision module hears: from sockets the same, in the same order, as on the simulator's wire.
+mod rig;
+use crankpaddle::{Event, LoadField, RequestId, RosterKind};
+use crankpaddle_node_protocol::rtsp;
+use crankpaddle_simhost::wire::{name_report, Batch, Record};
+use rig::*;
+use std::collections::BTreeMap;
+use std::sync::mpsc::{channel, Receiver};
+
+/// An event as text, without times, and with requests numbered in the order in which they are first named.
+#[derive(Default)]
+struct Plain(BTreeMap<RequestId, usize>);
+
+impl Plain {
+    fn id(&mut self, request: RequestId) -> usize {
+        let next = self.0.len();
+        *self.0.entry(request).or_insert(next)
+    }
+
+    fn text(&mut self, event: &Event) -> Option<String> {
+        let ask = |a: &crankpaddle::Ask| {
+            format!(
+                "viewer {:x} class {} tenant {} title {:x} cells {}+{} top {} hint {:?} again {} moved {}",
+                a.viewer, a.class, a.tenant, a.title, a.first_cell, a.copies, a.top, a.hint, a.again, a.moved
+            )
+        };
+        Some(match event {
+            Event::Timer(_) => return None,
+            Event::Roster(kind, list) => format!("{kind:?} {list:?}"),
+            Event::Ask(a) => format!("ask {}: {}", self.id(a.request), ask(a)),
+            Event::Adopted(a, server) => format!("adopted {} at {server:?}: {}", self.id(a.request), ask(a)),
+            Event::Playing { request, attempt, server, .. } => {
+                format!("playing {} {attempt} {server:?}", self.id(*request))
+            }
+            Event::Note { request, server, note } => {
+                format!("note {} {server:?} {note:?}", self.id(*request))
+            }
+            Event::Ended { request, attempt, server, outcome, closed, report } => {
+                let id = self.id(*request);
+                format!("ended {id} {attempt} {server:?} {outcome:?} closed {closed} {report:?}")
+            }
+            Event::Left(request) => format!("left {}", self.id(*request)),
+            other => format!("{other:?}"),
+        })
+    }
+}
+
+// ---- the story on the simulator's wire ----
+
+fn record(code: u8, fields: &[&[u8]]) -> Vec<u8> {
+    let mut r = vec![code, 9, 0, 0, 0];
+    fields.iter().for_each(|f| r.extend_from_slice(f));
+    r.resize(72, 0);
+    r
+}
+
+fn ask(request: u64, class: u8, flags: u16) -> Vec<u8> {
+    record(
+        10,
+        &[
+            &request.to_le_bytes(),
+            &0xb4d6_5521u64.to_le_bytes(),
+            &flags.to_le_bytes(),
+            &5_000_000_000u64.to_le_bytes(),
+            &1f32.to_le_bytes(), // Copies.
+            &1f32.to_le_bytes(), // Best rung.
+            &[0; 8],
+            &[0; 2],
+            &0x7f3a_9c21_e0b4_d655u64.to_le_bytes(),
+            &[class],
+            &0f32.to_le_bytes(), // First cell.
+        ],
+    )
+}
+
+fn adopted(request: u64, class: u8, server: u32) -> Vec<u8> {
+    record(
+        110,
+        &[
+            &request.to_le_bytes(),
+            &0xb4d6_5521u64.to_le_bytes(),
+            &[0; 8],
+            &[0; 8],
+            &1f32.to_le_bytes(),
+            &server.to_le_bytes(),
+            &0x7f3a_9c21_e0b4_d655u64.to_le_bytes(),
+            &[0; 2],
+            &[0; 2],
+            &0f32.to_le_bytes(),
+            &1f32.to_le_bytes(),
+            &[class],
+        ],
+    )
+}
+
+fn headers(request: u64, server: u32) -> Vec<u8> {
+    record(60, &[&request.to_le_bytes(), &[0], &server.to_le_bytes(), &[0; 8]])
+}
+
+fn notice(request: u64, server: u32, kind: u8, amount: f32) -> Vec<u8> {
+    record(90, &[&request.to_le_bytes(), &[0], &server.to_le_bytes(), &[kind], &amount.to_le_bytes()])
+}
+
+fn result(request: u64, server: u32, closed: bool, outcome: u16, x0: Option<f32>) -> Vec<u8> {
+    let n = u8::from(x0.is_some());
+    record(
+        50,
+        &[
+            &request.to_le_bytes(),
+            &server.to_le_bytes(),
+            &[0; 8],
+            &[u8::from(closed)],
+            &outcome.to_le_bytes(),
+            &[0],
+            &[n],
+            &x0.unwrap_or(0.0).to_le_bytes(),
+        ],
+    )
+}
+
+fn entry(server: u32, phase: u8) -> Vec<u8> {
+    let mut e = server.to_le_bytes().to_vec();
+    e.extend([0, 0, 0, 0, 0, phase]);
+    e.extend(1f32.to_le_bytes());
+    e.resize(22, 0);
+    e
+}
+
+/// Two frames for each event with a list: the list, and who is told of it.
+fn from_the_wire(story: &[(Vec<u8>, Vec<u8>)]) -> Vec<String> {
+    let (mut plain, mut out, mut lists) = (Plain::default(), Vec::new(), BTreeMap::new());
+    for (number, (record, tail)) in story.iter().enumerate() {
+        let mut frame = (number as u32).to_le_bytes().to_vec();
+        frame.extend(7u64.to_le_bytes());
+        frame.extend((4 + record.len() as u32 + tail.len() as u32).to_le_bytes());
+        frame.extend(1u32.to_le_bytes());
+        frame.extend(record);
+        frame.extend(tail);
+        let batch = Batch::read(&mut frame.as_slice()).expect("a frame").expect("one");
+        let event = match batch.record(0).expect("a record") {
+            Record::Directory { list, entries } => {
+                lists.insert(list, entries);
+                continue;
+            }
+            Record::Topology { kind, list, .. } => Event::Roster(kind, lists[&list].clone()),
+            Record::Front { event, .. } => event,
+            Record::Reported { mut event, values, .. } => {
+                name_report(&mut event, &values, &[LoadField::LinkAsked]);
+                event
+            }
+            Record::Spawn { .. } | Record::Stop { .. } => continue,
+        };
+        out.extend(plain.text(&event));
+    }
+    out
+}
+
+fn list(kind: u8, entries: &[Vec<u8>]) -> [(Vec<u8>, Vec<u8>); 2] {
+    let tail = entries.concat();
+    let mut directory = vec![20u8, 0];
+    directory.extend(0u32.to_le_bytes());
+    directory.extend((entries.len() as u32).to_le_bytes());
+    directory.resize(72, 0);
+    [(directory, tail), (record(130, &[&[kind], &5u64.to_le_bytes(), &[0]]), Vec::new())]
+}
+
+// ---- the same story over sockets ----
+
+struct Tapped {
+    events: Receiver<String>,
+    heard: Vec<String>,
+}
+
+impl Tapped {
+    fn start(servers: u32) -> (Rig, Tapped) {
+        let (tell, events) = channel();
+        let mut plain = Plain::default();
+        let tap = move |_, event: &Event| {
+            if let Some(text) = plain.text(event) {
+                let _ = tell.send(text); // The test may be over.
+            }
+        };
+        let rig = Rig::start_tapped(servers, |_| {}, Some(Box::new(tap)));
+        (rig, Tapped { events, heard: Vec::new() })
+    }
+
+    /// Waits until the module has heard something that begins like this.
+    fn until(&mut self, begins: &str) {
+        loop {
+            let text =
+                self.events.recv_timeout(LONG).unwrap_or_else(|_| panic!("no {begins:?}: {:?}", self.heard));
+            let found = text.starts_with(begins);
+            self.heard.push(text);
+            if found {
+                return;
+            }
+        }
+    }
+}
+
+#[test]
+fn the_module_hears_the_same_from_sockets_as_from_the_simulator() {
+    let (rig, mut tapped) = Tapped::start(1);
+    let mut viewer = rig.viewer();
+    let server = &rig.servers[0];
+    viewer.say(&set_up(tag(1), PAID, "-1", &format!(";at:{}", server.name)));
+    tapped.until("adopted");
+    let link = server.opened();
+    server.send(link, &note(tag(1), "at_rung", 1.0));
+    tapped.until("note 0");
+    // Comes again, is set up; the server tells of its link before it answers.
+    let mut again = set_up(tag(2), FREE, "15000", ";again:1");
+    again["opts"]["retry"] = serde_json::json!("1");
+    viewer.say(&again);
+    let (_, conn, _) = rig.set_up();
+    server.send(conn, &note(tag(2), "link_use", 0.25));
+    server.send(conn, &stands(tag(2), "x"));
+    tapped.until("note 1");
+    server.send(conn, &note(tag(2), "served", 0.5));
+    tapped.until("note 1");
+    server.send(conn, b"TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: 0000000000000002\r\nReason: cause=16\r\nX-State: x0:0.5;later:3\r\nContent-Length: 0\r\n\r\n");
+    tapped.until("ended 1");
+    // Paid, and refused as full with a report.
+    viewer.start(tag(3), PAID, 15_000);
+    let (_, conn, _) = rig.set_up();
+    server.send(conn, &response(453, 1, tag(3), "X-State: x0:0.75\r\n", ""));
+    tapped.until("ended 2");
+    // Given up by its viewer.
+    viewer.start(tag(4), PAID, 15_000);
+    rig.set_up();
+    viewer.finish(tag(4), 16);
+    tapped.until("ended 3");
+    // The adopted one is cut.
+    server.send(link, &rtsp::release(tag(1), 41));
+    tapped.until("ended 0");
+    for priority in [1, 2] {
+        rig.directory.tell(|told| {
+            told.serial += 1;
+            match priority {
+                1 => told.lines[0].priority = 1,
+                _ => told.lines.clear(),
+            }
+        });
+        tapped.until("Delta");
+    }
+
+    let at = 1;
+    let one = |record: Vec<u8>| vec![(record, Vec::new())];
+    let story = [
+        list(0, &[entry(at, 1)]).to_vec(),
+        one(adopted(70, 1, at)),
+        one(notice(70, at, 2, 1.0)),
+        one(ask(71, 0, 16)),
+        one(headers(71, at)),
+        one(notice(71, at, 3, 0.25)),
+        one(notice(71, at, 1, 0.5)),
+        one(result(71, at, true, 200, Some(0.5))),
+        one(ask(72, 1, 0)),
+        one(result(72, at, false, 503, Some(0.75))),
+        one(ask(73, 1, 0)),
+        one(record(100, &[&73u64.to_le_bytes()])),
+        one(result(73, at, true, 499, None)),
+        one(result(70, at, true, 598, None)),
+        list(1, &[entry(at, 2)]).to_vec(),
+        list(1, &[entry(at, 0)]).to_vec(),
+    ];
+    let told = from_the_wire(&story.concat());
+    assert_eq!(tapped.heard, told);
+    assert!(told[0].starts_with(&format!("{:?}", RosterKind::Cached)));
+}
+
+#[test]
+fn a_connection_that_breaks_while_its_server_lives_is_no_death() {
+    let (rig, mut tapped) = Tapped::start(1);
+    let mut viewer = rig.viewer();
+    // Noise: who sends it is alive.
+    viewer.start(tag(1), FREE, 15_000);
+    let (server, conn, _) = rig.set_up();
+    server.send(conn, b"\x00\x01");
+    tapped.until("ended 0 0 ServerId(1) Error closed false");
+    // Cut off, while another connection stands.
+    let (rig, mut tapped) = Tapped::start(1);
+    let mut viewer = rig.viewer();
+    viewer.start(tag(1), PAID, 15_000);
+    let (server, first, _) = rig.set_up();
+    viewer.start(tag(2), PAID, 15_000);
+    let (_, second, _) = rig.set_up();
+    server.close(first);
+    tapped.until("ended 0 0 ServerId(1) Error closed false");
+    // The last one: for all one knows the process died.
+    server.close(second);
+    tapped.until("ended 1 0 ServerId(1) Reset closed false");
+}
--- a/crates/node/tests/rig/mod.rs
+++ b/crates/node/tests/rig/mod.rs
@@ -1,6 +1,7 @@
 //! A node on loopback with stand-ins of its platform: servers, a directory and viewers that do what a test tells them.
 //! They are written from the platform's protocol and block on threads of their own; nothing waits without a bound.
 #![allow(dead_code)] // Each test file uses its part.
+use crankpaddle_front::Tap;
 use crankpaddle_node::Node;
 use crankpaddle_node_protocol::config::Config;
 use crankpaddle_node_protocol::rtsp::{Decoder, Kind, Message};
@@ -318,6 +319,11 @@
     }
 
     pub fn start_with(servers: u32, change: impl FnOnce(&mut Value)) -> Rig {
+        Rig::start_tapped(servers, change, None)
+    }
+
+    /// The same, and shows what the decision module hears.
+    pub fn start_tapped(servers: u32, change: impl FnOnce(&mut Value), tap: Option<Tap>) -> Rig {
         let servers: Vec<Server> = (1..=servers).map(Server::start).collect();
         let directory = Directory::start(Told { serial: 1, lines: lines(&servers), spoilt: None });
         let instances: Vec<Value> = servers
@@ -335,7 +341,7 @@
         change(&mut config);
         crankpaddle_net::start(Some(1));
         let parsed = Config::parse(config.to_string().as_bytes()).expect("a sound configuration");
-        let node = Arc::new(Node::start(parsed).expect("it starts"));
+        let node = Arc::new(Node::start_tapped(parsed, tap).expect("it starts"));
         Rig { node, servers, directory, config }
     }
 
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -1,12 +1,10 @@
 //! Hosts [`Front`]s on the bench's wire. An adapter only: every decision is the library's.
-mod wire;
-
 use crankpaddle::{Action, Event, Front, Listing, LoadField, RosterKind, Time};
+use crankpaddle_simhost::wire::{self, Batch, Record, Reply};
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, BufWriter};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
-use wire::{Batch, Record, Reply};
 
 struct Instance {
     front: Front,
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -11,7 +11,9 @@
 
 /// A batch of events.
 pub struct Batch {
+    /// Its number.
     pub number: u32,
+    /// The clock.
     pub now: Time,
     body: Vec<u8>,
     records: usize,
@@ -19,31 +21,50 @@
 
 /// One record of a batch.
 pub enum Record<'a> {
+    /// An instance starts.
     Spawn {
+        /// The instance.
         who: u32,
+        /// For its random numbers.
         seed: u64,
+        /// Its settings.
         facts: &'a [u8],
     },
+    /// An instance is no more.
     Stop {
+        /// The instance.
         who: u32,
     },
+    /// A list of servers, for the events that name it.
     Directory {
+        /// Its number.
         list: u8,
+        /// The servers.
         entries: Vec<Listing>,
     },
+    /// An instance is told a list.
     Topology {
+        /// The instance.
         who: u32,
+        /// How it is to be read.
         kind: RosterKind,
+        /// The list's number.
         list: u8,
     },
+    /// Any other event.
     Front {
+        /// The instance.
         who: u32,
+        /// What it hears.
         event: Event,
     },
     /// An event with a load report, whose fields only the instance's settings name.
     Reported {
+        /// The instance.
         who: u32,
+        /// What it hears.
         event: Event,
+        /// The report's figures.
         values: Vec<f64>,
     },
 }
