--- /dev/null
+++ b/crates/node/src/hub/mod.rs
@@ -0,0 +1,323 @@
+//! The one place where all is heard in one order and acted on: it owns the core. It never waits for a socket.
+mod callers;
+mod list;
+mod said;
+mod servers;
+
+use crate::health::{Dialed, Health};
+use crate::links;
+use crate::shared::{count, LinkId, Msg, Shared};
+use crate::viewers::{Conn, ConnId};
+use crankpaddle_front::{
+    Answer, AttemptId, Call, Core, Effect, Input, Listing, Note, Notice, Open, Order, Outcome, OverReason,
+    Phase, PlayerId, Refusal, Report, RosterKind, ServerId, SetUp, Tap, Terms, Time,
+};
+use crankpaddle_net::{clock, recv_until, sleep, Outbox};
+use crankpaddle_node_protocol::directory::{Entry, List, State};
+use crankpaddle_node_protocol::rtsp::{self, cseq, Kind};
+use crankpaddle_node_protocol::viewers::{self, cause, Ask, Message};
+use crankpaddle_node_protocol::Tag;
+use may::sync::mpsc::Receiver;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::RecvTimeoutError;
+use std::sync::Arc;
+use std::time::Duration;
+
+const MILLISECOND: u64 = 1_000_000;
+const SECOND: u64 = 1000 * MILLISECOND;
+/// A timer so late tells that the whole process stood still.
+const STALL: u64 = 250 * MILLISECOND;
+/// Then the sockets are read for this long before anything falls due.
+const CATCH_UP: Duration = Duration::from_millis(20);
+/// Links and what is to be released are looked through so often.
+const KEEP_HOUSE: u64 = 100 * MILLISECOND;
+/// Counters are logged so often.
+const TELL_COUNTS: u64 = 10 * SECOND;
+/// Messages taken before timers are looked at.
+const BATCH: usize = 128;
+/// A set-up is answered so long before its viewer gives up at the latest.
+const MARGIN: u64 = 15 * MILLISECOND;
+/// What a viewer may wait beyond its class's deadline; more is out of range.
+const LEFT_SLACK: u64 = SECOND;
+/// A link on which an attempt timed out in silence is closed after this time.
+const STALE_FOR: u64 = 2 * SECOND;
+/// A release that can't be sent is tried for this long.
+const RELEASE_FOR: u64 = 8 * SECOND;
+/// A server that answers an abandoned set-up so late is not waited for any more.
+const ABANDONED_FOR: u64 = 10 * SECOND;
+/// After SIGTERM requests still come on their way.
+const STILL_COMING: u64 = 900 * MILLISECOND;
+/// Connections looked for, for one set-up of which nothing was written.
+const MOST_TRIES: u32 = 2;
+/// Connections to one server at most, each with one set-up out; beyond, set-ups share.
+const MOST_LINKS: usize = 8;
+
+/// A viewer's session.
+struct Session {
+    tag: Tag,
+    conn: ConnId,
+    class: u8,
+    title: String,
+    blob: String, // The viewer's until the answer, then nothing.
+    stands: bool,
+}
+
+/// An attempt that is out or plays.
+struct Live {
+    player: PlayerId,
+    tag: Tag,
+    server: ServerId,
+    link: Option<LinkId>,
+    rung: u8,
+    until: Time,
+    sent: Option<u64>, // When it was written; before, it can't have run.
+    answered: bool,
+    tries: u32, // Connections looked for.
+}
+
+struct Link {
+    server: ServerId,
+    outbox: Option<Arc<Outbox>>, // None while it is connecting.
+    open: Vec<AttemptId>,        // Set-ups on it without an answer, or waiting for it to come up.
+    heard: u64,
+    stale: Option<u64>, // Since when it is not to be used, because an attempt on it timed out in silence.
+}
+
+struct Server {
+    address: SocketAddr,
+    listed: bool,
+    health: Health,
+    links: Vec<LinkId>, // The last used last.
+    held: HashMap<Tag, AttemptId>,
+    standing: usize,
+    abandoned: HashMap<Tag, u64>, // Set-ups given up, and until when a late answer is waited for.
+    unsent: VecDeque<(u64, Vec<u8>)>, // What no connection could take, and until when.
+}
+
+pub(crate) struct Hub {
+    shared: Arc<Shared>,
+    core: Core,
+    conns: HashMap<ConnId, Arc<Conn>>,
+    served: Vec<ConnId>, // Connections on which a session was set up, the latest last.
+    sessions: HashMap<PlayerId, Session>,
+    tags: HashMap<Tag, PlayerId>,
+    live: HashMap<AttemptId, Live>,
+    servers: BTreeMap<ServerId, Server>,
+    links: HashMap<LinkId, Link>,
+    listings: HashMap<String, (ServerId, Entry)>,
+    unsaid: VecDeque<(u64, Vec<u8>)>, // Releases to viewers that no connection could take, and until when.
+    last_player: u64,
+    last_link: u64,
+    release_cause: u16,      // What a teardown under way is for.
+    inputs: VecDeque<Input>, // For the core, once the effects under way are carried out.
+    busy: bool,
+    effects: Vec<Effect>,
+    drained: Option<u64>,
+}
+
+fn terms(shared: &Shared) -> Terms {
+    let classes = shared.config.fleet.classes.len();
+    Terms {
+        give_up: vec![u64::MAX / 4; classes], // The viewer's own deadline is looked at when it comes.
+        answer_margin: MARGIN,
+        resume: 0,
+        open: shared.budget.open,
+        open_per_player: 1,
+        keep_keys: 0,
+        keys_kept: 0, // Each set-up has an id of its own.
+    }
+}
+
+impl Hub {
+    pub fn new(shared: Arc<Shared>, tap: Option<Tap>) -> Hub {
+        let config = &shared.config;
+        let mut core =
+            Core::new(config.fleet.settings.clone(), terms(&shared), config.seed, Time(clock::now()));
+        tap.into_iter().for_each(|tap| core.set_tap(tap));
+        let known = config.known.clone();
+        let mut hub = Hub {
+            core,
+            conns: HashMap::new(),
+            served: Vec::new(),
+            sessions: HashMap::new(),
+            tags: HashMap::new(),
+            live: HashMap::new(),
+            servers: BTreeMap::new(),
+            links: HashMap::new(),
+            listings: HashMap::new(),
+            unsaid: VecDeque::new(),
+            last_player: 0,
+            last_link: 0,
+            release_cause: cause::CANCELLED,
+            inputs: VecDeque::new(),
+            busy: false,
+            effects: Vec::new(),
+            drained: None,
+            shared,
+        };
+        hub.list(known, RosterKind::Cached);
+        hub
+    }
+
+    /// Runs until the node has ended.
+    pub fn run(mut self, inbox: &Receiver<Msg>) {
+        let mut house = clock::now() + KEEP_HOUSE;
+        let mut tell = clock::now() + TELL_COUNTS;
+        while !self.over() {
+            let now = clock::now();
+            let due = self.core.next_expiry().map_or(u64::MAX, |t| t.0).min(house);
+            if due > now {
+                match recv_until(inbox, due) {
+                    Ok(msg) => self.hear(msg),
+                    Err(RecvTimeoutError::Timeout) => {}
+                    Err(RecvTimeoutError::Disconnected) => break,
+                }
+            }
+            self.take(inbox);
+            // Danger: after a standstill the timers of all requests are due while answers that came in time lie
+            // unread in the sockets. They are read first.
+            if self.core.next_expiry().is_some_and(|t| clock::now() > t.0.saturating_add(STALL)) {
+                tracing::warn!("stood still");
+                sleep(CATCH_UP);
+                while self.take(inbox) == BATCH {}
+            }
+            self.with_core(|core, now, effects| core.expire(now, effects));
+            let now = clock::now();
+            if now >= house {
+                house = now + KEEP_HOUSE;
+                self.keep_house(now);
+            }
+            if now >= tell {
+                tell = now + TELL_COUNTS;
+                tracing::info!(counts = ?self.shared.counts(), shed = ?self.shared.shed, "counts");
+            }
+        }
+        tracing::info!("ended");
+    }
+
+    fn over(&self) -> bool {
+        let late = self.drained.is_some_and(|at| clock::now() > at.saturating_add(STILL_COMING));
+        late && self.core.waiting() == 0 && self.core.playing() == 0 && self.unsaid.is_empty()
+    }
+
+    fn take(&mut self, inbox: &Receiver<Msg>) -> usize {
+        let mut count = 0;
+        while let Some(msg) = (count < BATCH).then(|| inbox.try_recv().ok()).flatten() {
+            self.hear(msg);
+            count += 1;
+        }
+        count
+    }
+
+    fn hear(&mut self, msg: Msg) {
+        match msg {
+            Msg::Joined(conn) => drop(self.conns.insert(conn.id, conn)),
+            Msg::Viewer(conn, message, read) => self.viewer(conn, message, read),
+            Msg::Gone(conn) => self.gone(conn),
+            Msg::Dialed(link, how, outbox) => self.dialed(link, how, outbox),
+            Msg::Server(link, message) => self.server(link, &message),
+            Msg::LinkDown(link, spoilt) => self.link_ended(link, spoilt),
+            Msg::List(list) => self.list(list, RosterKind::Delta),
+            Msg::Drain => {
+                if self.drained.is_none() {
+                    tracing::info!(counts = ?self.shared.counts(), "draining");
+                    self.drained = Some(clock::now());
+                    self.tell_core(Input::Drain);
+                }
+            }
+        }
+    }
+
+    /// Tells the core, or, while effects are being carried out, tells it after them.
+    fn tell_core(&mut self, input: Input) {
+        if self.busy {
+            return self.inputs.push_back(input);
+        }
+        self.with_core(|core, now, effects| core.handle(now, input, effects));
+    }
+
+    fn with_core(&mut self, first: impl FnOnce(&mut Core, Time, &mut Vec<Effect>)) {
+        self.busy = true;
+        first(&mut self.core, Time(clock::now()), &mut self.effects);
+        self.carry_out();
+        while let Some(input) = self.inputs.pop_front() {
+            self.core.handle(Time(clock::now()), input, &mut self.effects);
+            self.carry_out();
+        }
+        self.busy = false;
+        self.shared.waiting.store(self.core.waiting(), Ordering::Relaxed);
+        self.shared.playing.store(self.core.playing(), Ordering::Relaxed);
+    }
+
+    fn carry_out(&mut self) {
+        let mut effects = std::mem::take(&mut self.effects);
+        for effect in effects.drain(..) {
+            match effect {
+                Effect::Answer(call, answer) => self.answer(call.player, &answer),
+                Effect::Notify(player, _, notice) => self.notify(player, notice),
+                Effect::SetUp { attempt, server, order, until, .. } => {
+                    self.set_up(attempt, server, &order, until)
+                }
+                Effect::Holds { player, attempt, server } => self.holds(player, attempt, server),
+                Effect::Abandon(attempt, server) => self.abandon(attempt, server),
+                Effect::SetRung(attempt, server, rung) => {
+                    if let Some(live) = self.live.get(&attempt) {
+                        let (link, bytes) = (live.link, rtsp::rate(live.tag, rung));
+                        self.send_server(server, link, bytes);
+                    }
+                }
+                Effect::TearDown(attempt, server) => {
+                    if let Some(live) = self.drop_live(attempt) {
+                        let reason = self.release_cause;
+                        self.send_server(server, live.link, rtsp::release(live.tag, reason));
+                    }
+                }
+                Effect::Probe(server) => {
+                    let tag = Tag::parse("0000000000000000");
+                    tag.into_iter().for_each(|tag| self.send_server(server, None, rtsp::probe(tag)));
+                }
+                Effect::Subscribe | Effect::FetchRoster => {} // The directory is asked all the time.
+                Effect::Log(line) => tracing::info!(line, "module"),
+            }
+        }
+        self.effects = effects;
+    }
+
+    fn keep_house(&mut self, now: u64) {
+        let ids: Vec<ServerId> = self.servers.keys().copied().collect();
+        for id in ids {
+            if let Some(server) = self.servers.get_mut(&id) {
+                server.abandoned.retain(|_, until| now < *until);
+                server.unsent.retain(|(until, _)| now < *until);
+            }
+            self.watch(id, now);
+            let Some(server) = self.servers.get(&id) else { continue };
+            if !server.listed && server.standing == 0 && server.held.is_empty() {
+                let links = server.links.clone();
+                links.into_iter().for_each(|link| self.link_down(link));
+                self.servers.remove(&id);
+            } else if !server.listed && server.health.wants_dial(now, true) {
+                self.lose(id); // Silent, and it may not be asked any more.
+            }
+        }
+        let stale =
+            |l: &Link| l.open.is_empty() && l.stale.is_some_and(|at| now > at.saturating_add(STALE_FOR));
+        let stale: Vec<LinkId> = self.links.iter().filter(|(_, l)| stale(l)).map(|(id, _)| *id).collect();
+        stale.into_iter().for_each(|link| self.link_down(link));
+        self.unsaid.retain(|(until, _)| now < *until);
+        for (until, bytes) in std::mem::take(&mut self.unsaid) {
+            // Where no connection that had a session is left, any that spoke is better than none.
+            let spoke = self.conns.values().filter(|c| c.spoke.load(Ordering::Relaxed)).map(|c| c.id);
+            let others: Vec<ConnId> = self.served.iter().rev().copied().chain(spoke).collect();
+            if !others.into_iter().any(|other| self.say(other, &bytes)) {
+                self.unsaid.push_back((until, bytes));
+            }
+        }
+        let of_servers: usize =
+            self.servers.values().map(|s| s.held.len() + s.abandoned.len() + s.unsent.len()).sum();
+        let own = self.sessions.len() + self.tags.len() + self.live.len() + self.unsaid.len();
+        self.shared.entries.store(own + of_servers, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/node/src/hub/said.rs
@@ -0,0 +1,136 @@
+//! What servers say.
+use super::*;
+
+impl Hub {
+    pub(super) fn server(&mut self, id: LinkId, message: &rtsp::Message) {
+        let now = clock::now();
+        let Some(link) = self.links.get_mut(&id) else { return };
+        (link.heard, link.stale) = (now, None);
+        let server = link.server;
+        let Some(at) = self.servers.get_mut(&server) else { return };
+        at.health.heard(now);
+        let held = message.session.and_then(|tag| at.held.get(&tag).copied());
+        tracing::trace!(link = id.0, server = server.0, tag = ?message.session, kind = ?message.kind, cseq = message.cseq,
+            headers = ?message.headers, known = held.is_some(), "a server says");
+        match &message.kind {
+            Kind::Response(100..=199) => {}
+            Kind::Response(status) => match message.cseq {
+                Some(cseq::SET_UP) => self.set_up_answered(id, server, held, *status, message),
+                Some(cseq::OPTIONS) => {
+                    let outcome = if *status == 200 { Outcome::Ok } else { Outcome::Error };
+                    let report = self.report(message);
+                    self.tell_core(Input::Probed(server, outcome, report));
+                }
+                _ => {} // A release was heard.
+            },
+            Kind::Request(method, _) => match method.as_str() {
+                "ANNOUNCE" => {
+                    let note = message.note().and_then(|(name, figure)| note(name, figure));
+                    if let (Some(attempt), Some(note)) = (held, note) {
+                        self.tell_core(Input::Note(attempt, note));
+                    }
+                }
+                "TEARDOWN" => {
+                    let cseq = message.cseq.unwrap_or(cseq::TEAR_DOWN);
+                    self.send_server(server, Some(id), rtsp::heard(cseq, message.session));
+                    if let Some(attempt) = held {
+                        self.released(attempt, message);
+                    }
+                }
+                _ => {}
+            },
+        }
+    }
+
+    pub(super) fn set_up_answered(
+        &mut self,
+        link: LinkId,
+        server: ServerId,
+        held: Option<AttemptId>,
+        status: u16,
+        message: &rtsp::Message,
+    ) {
+        let now = clock::now();
+        let out = |l: &Live| !l.answered && l.link == Some(link);
+        let Some(attempt) = held.filter(|a| self.live.get(a).is_some_and(out)) else {
+            // One that was given up and is set up all the same must not go on. Anything else under an id that nobody
+            // waits for, or a second copy, is dropped.
+            let tag = message.session.filter(|_| held.is_none() && status == 200);
+            let at = self.servers.get_mut(&server);
+            let late = tag.zip(at).and_then(|(tag, at)| at.abandoned.remove(&tag).map(|_| tag));
+            if let Some(tag) = late {
+                return self.send_server(server, Some(link), rtsp::release(tag, cause::CANCELLED));
+            }
+            return count(&self.shared.shed.stray);
+        };
+        let report = self.report(message);
+        if status != 200 {
+            let outcome = match status {
+                453 => Outcome::Full,
+                454 => Outcome::Moot,
+                504 => Outcome::Reset,
+                _ => Outcome::Error,
+            };
+            return self.set_up_ended(attempt, outcome, report);
+        }
+        let Some(text) = message.text() else {
+            // It ran, but what it says can't be passed on in a viewer's line.
+            count(&self.shared.shed.broken_links);
+            return self.link_ended(link, true);
+        };
+        let Some(live) = self.live.get_mut(&attempt) else { return };
+        live.answered = true;
+        let player = live.player;
+        if let Some(session) = self.sessions.get_mut(&player) {
+            session.blob = text.to_owned();
+        }
+        if let Some(link) = self.links.get_mut(&link) {
+            link.open.retain(|a| *a != attempt);
+        }
+        if let Some(at) = self.servers.get_mut(&server) {
+            at.standing += 1;
+            at.health.begins(now);
+        }
+        self.tell_core(Input::SetUp(attempt, SetUp::Started(report)));
+    }
+
+    /// A server releases a session.
+    pub(super) fn released(&mut self, attempt: AttemptId, message: &rtsp::Message) {
+        let Some(live) = self.live.get(&attempt) else { return };
+        let (player, report) = (live.player, self.report(message));
+        if !live.answered {
+            return self.set_up_ended(attempt, Outcome::Reset, report);
+        }
+        let outcome = match message.cause() {
+            Some(cause::NORMAL) => Outcome::Ok,
+            Some(cause::CANCELLED) => Outcome::Cancelled,
+            _ => Outcome::Reset,
+        };
+        self.drop_live(attempt);
+        if outcome == Outcome::Cancelled {
+            self.forget(player); // Its viewer ended it, or it was moved: no release is owed.
+        }
+        self.tell_core(Input::Over(attempt, outcome, report));
+    }
+
+    pub(super) fn report(&self, message: &rtsp::Message) -> Report {
+        self.named(&message.state())
+    }
+
+    /// The figures of a report that the settings name, in their order.
+    pub(super) fn named(&self, figures: &[(&str, f64)]) -> Report {
+        let fields = &self.shared.config.fleet.fields;
+        let figure = |name: &str| figures.iter().find(|(n, _)| *n == name).map(|(_, v)| *v);
+        fields.iter().filter_map(|(name, field)| Some((*field, figure(name)?))).collect()
+    }
+}
+
+fn note(name: &str, figure: f64) -> Option<Note> {
+    Some(match name {
+        "served" => Note::Delivered(figure),
+        "at_rung" => Note::Rung(figure.clamp(0.0, 255.0).round() as u8),
+        "link_use" => Note::Link(figure),
+        "rack_use" => Note::Uplink(figure),
+        _ => return None,
+    })
+}
--- a/crates/node/tests/rig/mod.rs
+++ b/crates/node/tests/rig/mod.rs
@@ -89,7 +89,8 @@
         Some(found)
     }
 
-    fn look_for(&self, method: &str) -> Option<(usize, Message)> {
+    /// What was said first with this method, if anything was.
+    pub fn look_for(&self, method: &str) -> Option<(usize, Message)> {
         self.look(|heard| match heard {
             Heard::Said(conn, message) if matches!(&message.kind, Kind::Request(m, _) if m == method) => {
                 Some((*conn, message.clone()))
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -116,6 +116,11 @@
         self.records
     }
 
+    /// Whether it has none.
+    pub fn is_empty(&self) -> bool {
+        self.records == 0
+    }
+
     /// The record at `index`.
     pub fn record(&self, index: usize) -> Result<Record<'_>, String> {
         let at = index * EVENT_BYTES;
