--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -222,8 +222,8 @@
 
 /// The regions that earn most: slots for each rung (lowest first) whose rates fit `budget` and whose number
 /// fits `places`. A climb by trades of slots from each all-one-rung start, bounded in steps.
-/// Danger: with hundreds of slots a climb of single ones stops the front for as long as viewers wait; so trades
-/// begin with lumps of them. Harm: it may end on another of several tops alike.
+/// Danger: with hundreds of slots a climb of single ones stops the front for as long as viewers wait; so
+/// trades begin with lumps of them. Harm: it may end on another of several tops alike.
 pub fn best_regions(offered: f64, kb: &[f64], worth: &[f64], budget: f64, places: u32) -> Vec<u32> {
     let used = |n: &[u32]| n.iter().zip(kb).map(|(n, k)| f64::from(*n) * k).sum::<f64>();
     let fits = |n: &[u32]| used(n) <= budget + 1e-9 && n.iter().sum::<u32>() <= places;
@@ -476,7 +476,7 @@
         self.seconds / self.ends.max(1.0)
     }
 
-    /// Departure: pauses are for sessions of half a minute; where they are seen to be shorter, all goes faster.
+    /// Departure: pauses are for sessions of half a minute; where they are shorter, all goes faster.
     fn pace(&self) -> f64 {
         (self.length() / FIRST_LENGTH.0).clamp(PACE, 1.0)
     }
