--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -159,6 +159,11 @@
         self.tap = Some(tap);
     }
 
+    /// What the module believes of each server: link and uplink asked over given, and whether it takes set-ups.
+    pub fn beliefs(&self, now: Time) -> Vec<(ServerId, f64, f64, bool)> {
+        self.front.beliefs(now)
+    }
+
     /// Requests that have no answer yet.
     pub fn waiting(&self) -> usize {
         self.waiting
--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -164,7 +164,7 @@
     /// Runs until the node has ended.
     pub fn run(mut self, inbox: &Receiver<Msg>) {
         let mut house = clock::now() + KEEP_HOUSE;
-        let mut tell = clock::now() + TELL_COUNTS;
+        let (mut tell, mut beliefs) = (clock::now() + TELL_COUNTS, clock::now());
         while !self.over() {
             let now = clock::now();
             let due = self.core.next_expiry().map_or(u64::MAX, |t| t.0).min(house);
@@ -189,6 +189,12 @@
                 house = now + KEEP_HOUSE;
                 self.keep_house(now);
             }
+            if tracing::enabled!(tracing::Level::TRACE) && now >= beliefs {
+                beliefs = now + SECOND / 2;
+                for (server, link, uplink, usable) in self.core.beliefs(Time(now)) {
+                    tracing::trace!(server = server.0, link, uplink, usable, "believed");
+                }
+            }
             if now >= tell {
                 tell = now + TELL_COUNTS;
                 tracing::info!(counts = ?self.shared.counts(), shed = ?self.shared.shed, "counts");
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -279,6 +279,15 @@
         }
     }
 
+    /// What is believed of each server now: what is asked of its link and uplink over what they give, and whether a
+    /// set-up of a free class may go there. For those who hold it against what is.
+    pub fn beliefs(&self, now: Time) -> Vec<(ServerId, f64, f64, bool)> {
+        let belief = |(id, server): (&ServerId, &Server)| {
+            (*id, self.fill(server), self.uplink_fill(server.rack), self.usable(now, *id, true))
+        };
+        self.servers.iter().map(belief).collect()
+    }
+
     /// Takes an event and adds what is to be done for it to `out`, in order.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         if self.ticked.is_none() {
