Servers not heard of yet are judged by our own sessions there

Where nine or more of ours are there, the others are now taken to have nearly as many, as long as nothing was told.

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -22,6 +22,7 @@
 const UNLIKE_LINK: f64 = 0.93; // Asked times delivered, below which the link is not what falls short.
 const RESIZE: u64 = 10 * SECOND; // Regions are sized anew after this time.
 const COUNTED: (f64, f64) = (15.0, 10.0); // Arrivals count for these seconds, or until so many have come.
+const MANY: f64 = 9.0; // Sessions of ours at a server that tell how many others have there.
 const SAMPLE: f64 = 30.0; // Sessions that stand for all well enough.
 const ALIKE: (f64, f64) = (0.2, 0.05); // Links this close in arrivals and room are sized alike.
 const SEARCH: usize = 200; // Trades of slots at most in a climb.
@@ -401,7 +402,12 @@
     /// Fill of a server's link. Unheard ones count as the mean, 0.8 at most: to be heard they must be tried.
     fn fill(&self, server: &Server) -> f64 {
         let own = server.use_kb / server.gauge.gives;
-        server.gauge.faded(self.ticked, self.sums.mean.min(LOW_MARK)).max(own)
+        // Where nothing was told but many of ours are there, the other fronts likely have as many.
+        let here = server.here.len() as f64;
+        let others = f64::from(self.s.siblings.max(1) - 1) * (1.0 - here.sqrt().recip()).max(0.0);
+        let untold = if here >= MANY { 1.0 - server.gauge.fresh(self.ticked) } else { 0.0 };
+        let likely = own * (1.0 + others * untold);
+        server.gauge.faded(self.ticked, self.sums.mean.min(LOW_MARK)).max(likely)
     }
 
     /// Fill of a rack's uplink; where uplinks are not reported, what its links ask.
