--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -22,7 +22,6 @@
 const UNLIKE_LINK: f64 = 0.93; // Asked times delivered, below which the link is not what falls short.
 const RESIZE: u64 = 10 * SECOND; // Regions are sized anew after this time.
 const COUNTED: (f64, f64) = (15.0, 10.0); // Arrivals count for these seconds, or until so many have come.
-const MANY: f64 = 9.0; // Sessions of ours at a server that tell how many others have there.
 const SAMPLE: f64 = 30.0; // Sessions that stand for all well enough.
 const ALIKE: (f64, f64) = (0.2, 0.05); // Links this close in arrivals and room are sized alike.
 const SEARCH: usize = 200; // Trades of slots at most in a climb.
@@ -280,8 +279,8 @@
         }
     }
 
-    /// What is believed of each server now: what is asked of its link and uplink over what they give, and whether a
-    /// set-up of a free class may go there. For those who hold it against what is.
+    /// What is believed of each server now: what is asked of its link and uplink over what they give, and
+    /// whether a set-up of a free class may go there. For those who hold it against what is.
     pub fn beliefs(&self, now: Time) -> Vec<(ServerId, f64, f64, bool)> {
         let belief = |(id, server): (&ServerId, &Server)| {
             (*id, self.fill(server), self.uplink_fill(server.rack), self.usable(now, *id, true))
@@ -402,12 +401,7 @@
     /// Fill of a server's link. Unheard ones count as the mean, 0.8 at most: to be heard they must be tried.
     fn fill(&self, server: &Server) -> f64 {
         let own = server.use_kb / server.gauge.gives;
-        // Where nothing was told but many of ours are there, the other fronts likely have as many.
-        let here = server.here.len() as f64;
-        let others = f64::from(self.s.siblings.max(1) - 1) * (1.0 - here.sqrt().recip()).max(0.0);
-        let untold = if here >= MANY { 1.0 - server.gauge.fresh(self.ticked) } else { 0.0 };
-        let likely = own * (1.0 + others * untold);
-        server.gauge.faded(self.ticked, self.sums.mean.min(LOW_MARK)).max(likely)
+        server.gauge.faded(self.ticked, self.sums.mean.min(LOW_MARK)).max(own)
     }
 
     /// Fill of a rack's uplink; where uplinks are not reported, what its links ask.
@@ -890,6 +884,7 @@
             self.listed = now;
             out.push(Action::FetchRoster);
         }
+        self.bury(now);
         self.survey(now);
         let weight = (self.sums.own * past / SAMPLE).min(1.0);
         self.each_kb += weight * (self.sums.own_kb / self.sums.own.max(1.0) - self.each_kb);
@@ -899,6 +894,20 @@
         ids.into_iter().for_each(|id| self.raise(now, id, out));
     }
 
+    /// Forgets servers that are gone, once nothing of them can matter. Danger: where servers are replaced all
+    /// the time, memory would grow for ever.
+    fn bury(&mut self, now: Time) {
+        let (cells, sessions) = (&mut self.cells, &self.sessions);
+        self.servers.retain(|id, s| {
+            let over = s.is.phase == Phase::Gone && s.here.is_empty() && now >= s.cold_until.max(s.blocked);
+            let dead = over && !sessions.values().any(|s| s.ran.is_some_and(|(ran, _)| ran == *id));
+            if dead {
+                cells.entry(s.is.cell).or_default().remove(id);
+            }
+            !dead
+        });
+    }
+
     // ---- guards ----
 
     /// Whether an attempt breaks nothing: one at a time, in time, in caps, no second where one may have run.
--- a/crates/policy/tests/failures.rs
+++ b/crates/policy/tests/failures.rs
@@ -245,3 +245,25 @@
     d.send(Event::Timer(0));
     assert_eq!(attempt(&d.ask(24, FREE)), Some(server));
 }
+
+#[test]
+fn servers_that_are_gone_are_forgotten_and_what_may_matter_of_them_is_not() {
+    let mut d = Drive::new(settings());
+    let start = |id: u32, phase| Listing { cell: (id % 6) as u16, ..listing(id, phase, Time(0)) };
+    d.send(Event::Roster(RosterKind::Full, vec![start(1, Phase::Ready)]));
+    let held = attempt(&d.ask(6, FREE)).expect("there is room");
+    d.plays(6, held);
+    for id in 2..500 {
+        let next = vec![start(id, Phase::Gone), start(id + 1, Phase::Ready)];
+        d.send(Event::Roster(RosterKind::Delta, next));
+        tick(&mut d, 1);
+    }
+    d.send(Event::Roster(RosterKind::Delta, vec![start(1, Phase::Gone)]));
+    tick(&mut d, 1);
+    let known: Vec<_> = d.front.beliefs(d.now).into_iter().map(|(id, ..)| id.0).collect();
+    assert_eq!(known, [1, 500], "one with a session of ours stays until that ends");
+    d.end(6, held, Outcome::Reset, true);
+    tick(&mut d, 30);
+    let known: Vec<_> = d.front.beliefs(d.now).into_iter().map(|(id, ..)| id.0).collect();
+    assert_eq!(known, [500], "it is forgotten when it could not be cold any more");
+}
