--- /dev/null
+++ b/crates/cli/tests/node.rs
@@ -0,0 +1,150 @@
+//! The front node as its platform starts it: configuration, signals, exit.
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::time::{Duration, Instant};
+
+const LONG: Duration = Duration::from_secs(30);
+
+fn program() -> Command {
+    let mut program = Command::new(env!("CARGO_BIN_EXE_crankpaddle"));
+    program.arg("node").env_remove("NODE_CONFIG");
+    program
+}
+
+fn file(name: &str) -> PathBuf {
+    let dir = std::env::temp_dir().join(format!("crankpaddle-node-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    dir.join(name)
+}
+
+fn config(nameserver: &UdpSocket) -> Value {
+    json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 0.5, "memory_mb": 32, "sockets": 256},
+        "nameserver": nameserver.local_addr().unwrap().to_string(),
+        "known": {"seq": 0, "results": []},
+        "settings": {"index": 0, "siblings": 1, "azs": ["east"], "kinds": ["std"],
+            "services": [{"name": "preview", "aim": 800_000_000u64, "deadline": 4_000_000_000u64,
+                "semantics": "free", "worth": 1.0}],
+            "family-info": {"cells": 1, "cabinets": 1, "class-top": [1], "lowest-rung": [0], "rate-factor": [1.0],
+                "fleet-kb": 6000.0, "kb-per-weight": 6000.0, "level-kb": [200.0, 400.0], "rung-worth": [0.3, 1.0],
+                "places-by-kind": [20], "uplink-kb": 6000.0},
+            "limits": {"attempts-cap": 4, "retry-after": true, "max-retry-after": 1_000_000_000u64},
+            "rules": {"cold-share": 0.4, "cold": 1_000_000_000u64, "tip-multiple": 2.5, "fall": 1_000_000_000u64}}})
+}
+
+fn directory() -> UdpSocket {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_read_timeout(Some(LONG)).unwrap();
+    socket
+}
+
+struct Node {
+    child: Child,
+    address: String,
+    log: Receiver<String>,
+}
+
+impl Node {
+    fn start(config: &PathBuf) -> Node {
+        let mut child = program()
+            .env("NODE_CONFIG", config)
+            .env("CRANKPADDLE_LOG", "info")
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+        let address = line.trim().strip_prefix("listening ").expect("it says where it listens").to_owned();
+        let (tell, log) = channel();
+        let err = BufReader::new(child.stderr.take().unwrap());
+        std::thread::spawn(move || err.lines().map_while(Result::ok).for_each(|line| drop(tell.send(line))));
+        Node { child, address, log }
+    }
+
+    fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_raw(self.child.id() as i32).unwrap(), signal).unwrap();
+    }
+
+    fn logs(&self, what: &str) -> String {
+        loop {
+            let line = self.log.recv_timeout(LONG).unwrap_or_else(|_| panic!("never logged: {what}"));
+            if line.contains(what) {
+                return line;
+            }
+        }
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill(); // It may have ended.
+        let _ = self.child.wait();
+    }
+}
+
+#[test]
+fn without_a_sound_configuration_nothing_starts_and_one_line_says_why() {
+    let refused = |command: &mut Command| {
+        let out = command.output().unwrap();
+        let said = String::from_utf8(out.stderr).unwrap();
+        assert_eq!((out.status.code(), said.lines().count(), out.stdout.len()), (Some(2), 1, 0), "{said}");
+        said
+    };
+    assert!(refused(&mut program()).contains("NODE_CONFIG"));
+    assert!(refused(program().arg("--config").arg(file("absent.json"))).contains("absent.json"));
+    let path = file("broken.json");
+    std::fs::write(&path, "{\"name\":").unwrap();
+    assert!(refused(program().arg("--config").arg(&path)).contains("broken.json"));
+    let mut lacking = config(&directory());
+    lacking["settings"]["family-info"].as_object_mut().unwrap().remove("cells");
+    std::fs::write(&path, lacking.to_string()).unwrap();
+    assert!(refused(program().arg("--config").arg(&path)).contains("cells"));
+}
+
+#[test]
+fn hup_asks_another_directory_a_bad_file_changes_nothing_and_term_ends_it_with_status_0() {
+    let (first, second) = (directory(), directory());
+    let path = file("node.json");
+    std::fs::write(&path, config(&first).to_string()).unwrap();
+    let mut node = Node::start(&path);
+    let mut bytes = [0u8; 512];
+    first.recv(&mut bytes).expect("the directory is asked");
+    std::fs::write(&path, config(&second).to_string()).unwrap();
+    node.signal(Signal::HUP);
+    node.logs("reloaded");
+    second.recv(&mut bytes).expect("the new directory is asked");
+    std::fs::write(&path, "{").unwrap();
+    node.signal(Signal::HUP);
+    assert!(node.logs("not reloaded").contains("node.json"));
+    second.set_nonblocking(true).unwrap();
+    while second.recv(&mut bytes).is_ok() {}
+    second.set_nonblocking(false).unwrap();
+    second.recv(&mut bytes).expect("it is asked still");
+    // It serves all the while: nothing is known that holds the title, so the set-up is refused at once, with advice.
+    let mut viewer = TcpStream::connect(&node.address).unwrap();
+    viewer.set_read_timeout(Some(LONG)).unwrap();
+    let asked = json!({"verb": "START", "tag": "9b1f03aa5c7e2d41", "blob": "x", "opts": {"class": "preview",
+        "left": "1500", "key": "7f3a9c21e0b4d655", "extras": "home:0;copies:1;top:1;viewer:00000000b4d65521"}});
+    viewer.write_all(format!("{asked}\n").as_bytes()).unwrap();
+    let mut line = String::new();
+    BufReader::new(&viewer).read_line(&mut line).unwrap();
+    let answer: Value = serde_json::from_str(&line).unwrap();
+    assert_eq!((&answer["verb"], &answer["rc"]), (&json!("FINISH"), &json!(34)));
+    assert_eq!(answer["opts"]["wait"], "1000");
+    node.signal(Signal::TERM);
+    let until = Instant::now() + LONG;
+    let status = loop {
+        match node.child.try_wait().unwrap() {
+            Some(status) => break status,
+            None => assert!(Instant::now() < until, "it does not end"),
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    };
+    assert_eq!(status.code(), Some(0));
+}
--- a/crates/node/tests/rough.rs
+++ b/crates/node/tests/rough.rs
@@ -265,3 +265,26 @@
     assert_eq!(viewer.line()["verb"], "STARTED");
     let _ = conn;
 }
+
+#[test]
+fn a_connection_that_let_a_set_up_time_out_in_silence_is_not_used_again() {
+    let rig = Rig::start(1);
+    let mut viewer = rig.viewer();
+    viewer.start(tag(1), PAID, 400);
+    let (server, silent, _) = rig.set_up();
+    assert_eq!(viewer.line()["rc"], 41, "it may have run");
+    // The module leaves the server alone for a second; until then it refuses at once.
+    let mut n = 10;
+    let again = loop {
+        n += 1;
+        viewer.start(tag(n), FREE, 15_000);
+        // The test is answered behind a refusal, if there is one.
+        if viewer.echo()["verb"] == "ECHOED" {
+            break server.said("SETUP").0;
+        }
+        assert_eq!(viewer.line()["verb"], "ECHOED");
+    };
+    assert_ne!(again, silent, "for all one knows the machine behind it is gone");
+    server.send(again, &stands(tag(n), "x"));
+    assert_eq!(viewer.line()["verb"], "STARTED");
+}
