Front node and daemon share reading, catching up and signals; twins within the node joined

Written twice and now once: the loop that reads a connection (viewers, links, and net's until_closed: Outbox::read_each), taking messages and catching up after a standstill (both hubs: net::take, catch_up), following signals and saying where one listens (front, node), push_first beside push, entering a session, waiting for a link, closing a server's links, a set-up without a description. Simpler: the list is kept by server number, so what is gone is told in one order; a deadline's bound is the class's, not a huge number; the setting of idle connections, which nobody read, is gone. A viewer's connection that goes with nothing open no longer looks through all sessions. Tests: one cutter of streams, one configuration for rig and example; no assertion changed.

--- a/crates/cli/src/front.rs
+++ b/crates/cli/src/front.rs
@@ -1,10 +1,9 @@
 //! Running a front.
-use crate::{logs, Failure};
+use crate::{logs, running, Failure};
 use crankpaddle_config::Config;
 use crankpaddle_daemon::Daemon;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -21,25 +20,14 @@
 /// Runs until it is told to end.
 pub fn run(config: Config, path: PathBuf) -> Result<ExitCode, Failure> {
     let _logs = logs::start(&config.log_level, config.log_json);
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    let signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     crankpaddle_net::start(config.workers);
     let address = config.listen;
     let daemon = Daemon::start(config).map_err(|e| Failure { what: format!("{address}: {e}"), status: 1 })?;
     let daemon = Arc::new(daemon);
-    let told = daemon.clone();
-    std::thread::spawn(move || {
-        for signal in signals.forever() {
-            if signal == SIGHUP {
-                reload(&told, &path);
-            } else {
-                told.drain();
-            }
-        }
-    });
-    let mut out = std::io::stdout().lock();
-    // Whoever started it may not listen.
-    let _ = writeln!(out, "listening {}", daemon.address()).and_then(|()| out.flush());
-    drop(out);
+    let (reloaded, ended) = (daemon.clone(), daemon.clone());
+    running::follow(signals, move || reload(&reloaded, &path), move || ended.drain());
+    running::announce(daemon.address());
     daemon.wait();
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,10 +1,12 @@
-//! The program: `crankpaddle front`, `crankpaddle node`, `crankpaddle check`, `crankpaddle api`, `crankpaddle traffic`, `crankpaddle lab`.
+//! The program: `crankpaddle front`, `crankpaddle node`, `crankpaddle check`, `crankpaddle api`, `crankpaddle traffic`,
+//! `crankpaddle lab`.
 #![forbid(unsafe_code)]
 mod api;
 mod front;
 mod lab;
 mod logs;
 mod node;
+mod running;
 mod traffic;
 
 use clap::{Parser, Subcommand};
--- a/crates/cli/src/node.rs
+++ b/crates/cli/src/node.rs
@@ -1,10 +1,9 @@
 //! Running a front node.
-use crate::{logs, Failure, BAD_FILE};
+use crate::{logs, running, Failure, BAD_FILE};
 use crankpaddle_node::Node;
 use crankpaddle_node_protocol::config::Config;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -17,10 +16,21 @@
     Config::parse(&text).map_err(|e| format!("{}: {e}", path.display()))
 }
 
+/// Takes what may change of the file over, or says why all stays as it is.
+fn reload(node: &Node, path: &Path) {
+    match load(path) {
+        Ok(config) => {
+            node.reload(&config);
+            tracing::info!(nameserver = %config.nameserver, "reloaded");
+        }
+        Err(what) => tracing::error!(what, "not reloaded; the configuration in force stays"),
+    }
+}
+
 /// Runs until it is told to end and nothing is owed any more.
 pub fn run(config: Option<PathBuf>) -> Result<ExitCode, Failure> {
     // First of all: a signal that comes during the start must find its handler.
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    let signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     let bad = |what: String| Failure { what: format!("crankpaddle node: {what}"), status: BAD_FILE };
     let path = config.or_else(|| std::env::var_os("NODE_CONFIG").map(PathBuf::from));
     let path = path.ok_or_else(|| bad("no configuration: set NODE_CONFIG or give --config FILE".into()))?;
@@ -31,26 +41,9 @@
     let address = config.listen;
     let node = Node::start(config).map_err(|e| Failure { what: format!("{address}: {e}"), status: 1 })?;
     let node = Arc::new(node);
-    let told = node.clone();
-    std::thread::spawn(move || {
-        for signal in signals.forever() {
-            if signal != SIGHUP {
-                told.drain();
-                continue;
-            }
-            match load(&path) {
-                Ok(config) => {
-                    told.reload(&config);
-                    tracing::info!(nameserver = %config.nameserver, "reloaded");
-                }
-                Err(what) => tracing::error!(what, "not reloaded; the configuration in force stays"),
-            }
-        }
-    });
-    let mut out = std::io::stdout().lock();
-    // Whoever started it may not listen.
-    let _ = writeln!(out, "listening {}", node.address()).and_then(|()| out.flush());
-    drop(out);
+    let (reloaded, ended) = (node.clone(), node.clone());
+    running::follow(signals, move || reload(&reloaded, &path), move || ended.drain());
+    running::announce(node.address());
     node.wait();
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/daemon/src/hub.rs
+++ b/crates/daemon/src/hub.rs
@@ -11,7 +11,7 @@
     Answer, AttemptId, Call, Core, Effect, Input, Listing, Note, Notice, Order, Phase, PlayerId, RequestId,
     RosterKind, ServerId, SetUp, Time,
 };
-use crankpaddle_net::{clock, recv_until, sleep};
+use crankpaddle_net::{catch_up, clock, recv_until, take};
 use crankpaddle_session_api::answers;
 use crankpaddle_traffic::report::Report;
 use crankpaddle_upstream::list::{self, Held, List};
@@ -22,13 +22,8 @@
 use std::sync::mpsc::RecvTimeoutError;
 use std::sync::Arc;
 use std::thread::JoinHandle;
-use std::time::Duration;
 
 const MILLISECOND: u64 = 1_000_000;
-/// A timer so late tells that the whole process stood still.
-const STALL: u64 = 250 * MILLISECOND;
-/// Then the sockets are read for this long before anything falls due.
-const CATCH_UP: Duration = Duration::from_millis(20);
 /// Links and pools are looked through so often.
 const KEEP_HOUSE: u64 = 1000 * MILLISECOND;
 /// Messages taken before timers are looked at.
@@ -118,13 +113,10 @@
                 None
             };
             first.into_iter().for_each(|msg| self.hear(msg));
-            self.take(inbox);
-            // Danger: after a standstill the timers of all requests are due while answers that came in time lie
-            // unread in the sockets. They are read first.
-            if self.core.next_expiry().is_some_and(|t| clock::now() > t.0.saturating_add(STALL)) {
+            take(inbox, BATCH, |msg| self.hear(msg));
+            let due = self.core.next_expiry().map_or(u64::MAX, |t| t.0);
+            if catch_up(inbox, due, BATCH, |msg| self.hear(msg)) {
                 tracing::warn!("stood still");
-                sleep(CATCH_UP);
-                while self.take(inbox) == BATCH {}
             }
             self.core.expire(Time(clock::now()), &mut self.effects);
             self.carry_out();
@@ -142,15 +134,6 @@
         [self.cache.finish(), self.account.finish()].into_iter().flatten().collect()
     }
 
-    fn take(&mut self, inbox: &Receiver<Msg>) -> usize {
-        let mut count = 0;
-        while let Some(msg) = (count < BATCH).then(|| inbox.try_recv().ok()).flatten() {
-            self.hear(msg);
-            count += 1;
-        }
-        count
-    }
-
     fn hear(&mut self, msg: Msg) {
         match msg {
             Msg::Joined(player) => drop(self.players.insert(player.id, player)),
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -12,6 +12,6 @@
 mod sweep;
 
 pub use outbox::Outbox;
-pub use runtime::{recv_until, sleep, spawn, start, Stack, Turns};
+pub use runtime::{catch_up, recv_until, sleep, spawn, start, take, Stack};
 pub use socket::{accept_each, accept_while_room, listen, Socket};
 pub use sweep::Sweeper;
--- a/crates/net/src/outbox.rs
+++ b/crates/net/src/outbox.rs
@@ -1,4 +1,5 @@
 //! What is to be sent to a peer that may not read: bounded, in order, never waited for by who sends.
+use crate::runtime::Turns;
 use crate::Socket;
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -21,25 +22,8 @@
         &self.socket
     }
 
-    /// Like [`Outbox::push`], but tells whether anything can have reached the peer: false only if not one byte went out
-    /// or ever will.
-    pub fn push_first(&self, bytes: &[u8]) -> bool {
-        {
-            let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
-            if pending.is_empty() {
-                return match self.socket.try_write(bytes) {
-                    Ok(n) => {
-                        pending.extend_from_slice(&bytes[n..]);
-                        true
-                    }
-                    Err(_) => false,
-                };
-            }
-        }
-        self.push(bytes)
-    }
-
-    /// Sends, or keeps what the kernel does not take for [`Outbox::flush`]. Never waits. False if the peer was cut.
+    /// Sends, or keeps what the kernel does not take for [`Outbox::flush`]. Never waits. False if the peer was cut; no byte of
+    /// a message that is shorter than what may wait has gone out then.
     pub fn push(&self, bytes: &[u8]) -> bool {
         // The lock is held over calls that do not wait.
         let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
@@ -59,20 +43,30 @@
         !cut
     }
 
-    /// Sends what waits until the peer ends the connection, and throws away what it sends. Call in the coroutine that
-    /// waits on the socket.
-    pub fn until_closed(&self) {
-        let mut piece = [0u8; 64];
+    /// Hands what the peer sends to `each`, in pieces of `PIECE` bytes at most, and sends what waits, until the peer ends the
+    /// connection or `each` wants no more. Call in the coroutine that waits on the socket. True if the peer ended it.
+    pub fn read_each<const PIECE: usize>(&self, mut each: impl FnMut(&[u8]) -> bool) -> bool {
+        let (mut piece, mut turns) = ([0u8; PIECE], Turns::default());
         loop {
             self.flush();
             match self.socket.try_read(&mut piece) {
-                Ok(None) => self.socket.wait(),
-                Ok(Some(n)) if n > 0 => {}
-                _ => return,
+                Ok(None) => {
+                    self.socket.wait();
+                    turns.waited();
+                }
+                Ok(Some(0)) | Err(_) => return true,
+                Ok(Some(n)) if !each(&piece[..n]) => return false,
+                Ok(Some(_)) => turns.took(), // From one that sends at full speed there is always something to read.
             }
         }
     }
 
+    /// Sends what waits until the peer ends the connection, and throws away what it sends. Call in the coroutine that
+    /// waits on the socket.
+    pub fn until_closed(&self) {
+        self.read_each::<64>(|_| true);
+    }
+
     /// Sends what waits, as far as the kernel takes it; called by the coroutine that waits on the socket. True if
     /// nothing waits any more.
     pub fn flush(&self) -> bool {
--- a/crates/net/src/runtime.rs
+++ b/crates/net/src/runtime.rs
@@ -80,6 +80,34 @@
     }
 }
 
+/// Hands messages that are there to `hear`, `most` at most; how many there were.
+pub fn take<T>(receiver: &Receiver<T>, most: usize, mut hear: impl FnMut(T)) -> usize {
+    let mut count = 0;
+    while let Some(message) = (count < most).then(|| receiver.try_recv().ok()).flatten() {
+        hear(message);
+        count += 1;
+    }
+    count
+}
+
+/// A timer so late tells that the whole process stood still.
+const STALL: u64 = 250_000_000;
+/// Then the sockets are read for this long before anything falls due.
+const CATCH_UP: Duration = Duration::from_millis(20);
+
+/// Takes all that came while the process stood still, if a timer that is due at `due` tells that it did.
+///
+/// Danger: after a standstill the timers of all requests are due while answers that came in time lie unread in the
+/// sockets. They are read first.
+pub fn catch_up<T>(receiver: &Receiver<T>, due: u64, most: usize, mut hear: impl FnMut(T)) -> bool {
+    let stood = clock::now() > due.saturating_add(STALL);
+    if stood {
+        sleep(CATCH_UP);
+        while take(receiver, most, &mut hear) == most {}
+    }
+    stood
+}
+
 /// Turns of a coroutine that may always find something to do, so that others get theirs.
 ///
 /// Danger: a worker of may (0.3.51) looks at its sockets only when no coroutine can run. One that is sent to at full speed
@@ -87,7 +115,7 @@
 /// stops (seen as tests of the front node that waited 2 s while one client flooded it). So it sleeps. Harm: such a
 /// connection is read at a bounded pace.
 #[derive(Debug, Default)]
-pub struct Turns(u32);
+pub(crate) struct Turns(u32);
 
 /// So much is done in a row ...
 const IN_A_ROW: u32 = 8;
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -1,6 +1,6 @@
 //! A connection that one coroutine reads and anyone may write to, wake or shut.
-use crate::runtime::SHORTEST;
-use crate::{clock, spawn, Stack, Turns};
+use crate::runtime::{Turns, SHORTEST};
+use crate::{clock, spawn, Stack};
 use may::io::WaitIo;
 use may::net::{TcpListener, TcpStream};
 use std::collections::VecDeque;
@@ -164,14 +164,18 @@
 
     /// Whether an idle connection can carry a request: not closed, nothing unread.
     pub fn is_idle(&self) -> bool {
-        let mut one = [0u8; 1];
-        !self.is_shut() && matches!(again(|| self.tcp.inner().peek(&mut one)), Ok(None))
+        !self.is_shut() && matches!(self.peek(), Ok(None))
     }
 
     /// Whether a connection that is read elsewhere is still up, as far as the kernel knows.
     pub fn is_open(&self) -> bool {
+        !self.is_shut() && matches!(self.peek(), Ok(None | Some(1)))
+    }
+
+    /// How many bytes can be read at once, one at most; 0: the peer has ended; `None`: nothing is there.
+    fn peek(&self) -> io::Result<Option<usize>> {
         let mut one = [0u8; 1];
-        !self.is_shut() && matches!(again(|| self.tcp.inner().peek(&mut one)), Ok(None | Some(1)))
+        again(|| self.tcp.inner().peek(&mut one))
     }
 
     /// Sets when [`Socket::expire`] ends the connection: nanoseconds of [`clock::now`], `u64::MAX` for never.
--- a/crates/node-protocol/src/viewers.rs
+++ b/crates/node-protocol/src/viewers.rs
@@ -207,6 +207,9 @@
         // Nobody waits for one that plays already: what its field says there means nothing.
         let left = whole(opt("left")).filter(|left| *left > 0);
         ask.left = if ask.at.is_some() { left.unwrap_or(0) } else { left.ok_or("left")? };
+        if ask.at.is_none() && self.blob.is_none() {
+            return Err("blob");
+        }
         Ok(ask)
     }
 }
--- a/crates/node-protocol/tests/codecs.rs
+++ b/crates/node-protocol/tests/codecs.rs
@@ -8,35 +8,33 @@
     Tag::parse(&format!("{n:016x}")).expect("16 hex digits")
 }
 
-/// Feeds bytes in pieces of these sizes, over and over; the messages, and whether the stream broke.
-fn viewers_said(bytes: &[u8], pieces: &[usize]) -> (Vec<Message>, Option<viewers::Fault>) {
-    let (mut decoder, mut out, mut at) = (viewers::Decoder::default(), Vec::new(), 0);
+/// Feeds bytes in pieces of these sizes, over and over, until one is refused; how it was.
+fn cut<E>(bytes: &[u8], pieces: &[usize], mut feed: impl FnMut(&[u8]) -> Result<(), E>) -> Option<E> {
+    let mut at = 0;
     for size in pieces.iter().copied().cycle() {
         let end = (at + size.max(1)).min(bytes.len());
-        if let Err(fault) = decoder.feed(&bytes[at..end], &mut out) {
-            return (out, Some(fault));
+        if let Err(fault) = feed(&bytes[at..end]) {
+            return Some(fault);
         }
         at = end;
         if at == bytes.len() {
             break;
         }
     }
-    (out, None)
+    None
+}
+
+/// The messages, and whether the stream broke.
+fn viewers_said(bytes: &[u8], pieces: &[usize]) -> (Vec<Message>, Option<viewers::Fault>) {
+    let (mut decoder, mut out) = (viewers::Decoder::default(), Vec::new());
+    let fault = cut(bytes, pieces, |piece| decoder.feed(piece, &mut out));
+    (out, fault)
 }
 
 fn servers_said(bytes: &[u8], pieces: &[usize]) -> (Vec<rtsp::Message>, Option<rtsp::Fault>) {
-    let (mut decoder, mut out, mut at) = (rtsp::Decoder::default(), Vec::new(), 0);
-    for size in pieces.iter().copied().cycle() {
-        let end = (at + size.max(1)).min(bytes.len());
-        if let Err(fault) = decoder.feed(&bytes[at..end], &mut out) {
-            return (out, Some(fault));
-        }
-        at = end;
-        if at == bytes.len() {
-            break;
-        }
-    }
-    (out, None)
+    let (mut decoder, mut out) = (rtsp::Decoder::default(), Vec::new());
+    let fault = cut(bytes, pieces, |piece| decoder.feed(piece, &mut out));
+    (out, fault)
 }
 
 fn start(n: u64, extras: &str, left: &str, blob: &str) -> Vec<u8> {
--- a/crates/node/src/hub/callers.rs
+++ b/crates/node/src/hub/callers.rs
@@ -32,40 +32,37 @@
                 return;
             }
         };
-        let player = PlayerId(self.last_player + 1);
-        let mut session =
-            Session { tag, conn, class: open.class, title: ask.key, blob: String::new(), stands: false };
+        let blob = start.blob.clone().unwrap_or_default();
+        let mut session = Session { tag, conn, class: open.class, title: ask.key, blob, stands: false };
         if let Some(at) = &ask.at {
-            let Some((server, _)) = self.listings.get(at) else { return };
-            let server = *server;
-            (session.conn, session.stands) = (ConnId::default(), true);
-            self.last_player += 1;
-            self.sessions.insert(player, session);
-            self.tags.insert(tag, player);
+            let Some(server) = self.listed(at) else { return };
+            (session.conn, session.blob, session.stands) = (ConnId::default(), String::new(), true);
+            let player = self.enter(session);
             return self.tell_core(Input::Adopt { player, open, server });
         }
-        let Some(blob) = &start.blob else {
-            count(&self.shared.shed.out_of_range);
-            self.say(conn, &viewers::finish(tag, cause::INVALID, None));
-            return;
-        };
         let Some(of) = self.conns.get(&conn) else { return };
         if of.open.load(Ordering::Relaxed) >= self.shared.budget.open_per_connection {
             count(&self.shared.shed.crowded);
-            let wait = self.shared.config.fleet.settings.stay_away_cap / MILLISECOND;
-            self.say(conn, &viewers::finish(tag, cause::CONGESTION, Some(wait).filter(|w| *w > 0)));
+            let advice = self.shared.config.fleet.settings.stay_away_cap;
+            self.say(conn, &viewers::finish(tag, cause::CONGESTION, wait(advice)));
             return;
         }
         of.open.fetch_add(1, Ordering::Relaxed);
-        session.blob.clone_from(blob);
         tracing::trace!(%tag, conn = conn.0, ask = ?start.opts, "asked");
-        self.last_player += 1;
-        self.sessions.insert(player, session);
-        self.tags.insert(tag, player);
+        let player = self.enter(session);
         let call = Call { player, number: 0 };
         self.tell_core(Input::Open { call, open, received: Time(read) });
     }
 
+    /// A session is known by its tag from now on; the player that it is to the core.
+    fn enter(&mut self, session: Session) -> PlayerId {
+        self.last_player += 1;
+        let player = PlayerId(self.last_player);
+        self.tags.insert(session.tag, player);
+        self.sessions.insert(player, session);
+        player
+    }
+
     /// A set-up in the core's terms, or the field that is out of range.
     pub(super) fn open(&self, tag: Tag, ask: &Ask) -> Result<Open, &'static str> {
         let fleet = &self.shared.config.fleet;
@@ -126,8 +123,11 @@
 
     pub(super) fn gone(&mut self, conn: ConnId) {
         tracing::trace!(conn = conn.0, "a viewer's connection is gone");
-        self.conns.remove(&conn);
+        let Some(gone) = self.conns.remove(&conn) else { return };
         self.served.retain(|c| *c != conn);
+        if gone.open.load(Ordering::Relaxed) == 0 {
+            return; // Most that go: all sessions need not be looked at for each.
+        }
         let waits = self.sessions.iter().filter(|(_, s)| s.conn == conn && !s.stands).map(|(p, _)| *p);
         let waits: Vec<PlayerId> = waits.collect();
         // No answer can reach these any more.
@@ -162,8 +162,7 @@
     }
 
     pub(super) fn answer(&mut self, player: PlayerId, answer: &Answer) {
-        let tag = self.sessions.get(&player).map(|s| s.tag);
-        tracing::trace!(?tag, ?answer, "answered");
+        tracing::trace!(tag = ?self.sessions.get(&player).map(|s| s.tag), ?answer, "answered");
         match answer {
             Answer::Plays { .. } => {
                 let Some(session) = self.sessions.get_mut(&player) else { return };
@@ -175,14 +174,13 @@
                 self.served.push(conn);
                 self.say(conn, &bytes);
             }
-            Answer::Refused(why, wait) => {
+            Answer::Refused(why, advice) => {
                 let Some(session) = self.forget(player) else { return };
                 let why = match why {
                     Refusal::NoRoom | Refusal::HeldAtHome => cause::NO_ROOM,
                     Refusal::Overload | Refusal::TooManyOpen | Refusal::Stopping => cause::CONGESTION,
                 };
-                let wait = Some(wait / MILLISECOND).filter(|wait| *wait > 0);
-                self.say(session.conn, &viewers::finish(session.tag, why, wait));
+                self.say(session.conn, &viewers::finish(session.tag, why, wait(*advice)));
             }
             Answer::Failed(_) => {
                 let Some(session) = self.forget(player) else { return };
@@ -218,3 +216,8 @@
         }
     }
 }
+
+/// Advice to stay away, in the milliseconds in which viewers are told; none where there is none.
+fn wait(advice: u64) -> Option<u64> {
+    Some(advice / MILLISECOND).filter(|wait| *wait > 0)
+}
--- a/crates/node/src/hub/list.rs
+++ b/crates/node/src/hub/list.rs
@@ -5,26 +5,22 @@
     pub(super) fn list(&mut self, list: List, kind: RosterKind) {
         let now = clock::now();
         let mut listings = Vec::new();
-        let mut listed: HashMap<String, (ServerId, Entry)> = HashMap::new();
+        let mut listed: BTreeMap<ServerId, Entry> = BTreeMap::new();
         for entry in list.entries {
             let id = server_id(&entry.name);
-            if listed.values().any(|(other, _)| *other == id) {
+            if listed.contains_key(&id) {
                 tracing::error!(server = entry.name, "two servers of one id in the list");
                 continue;
             }
-            listed.insert(entry.name.clone(), (id, entry));
+            listed.insert(id, entry);
         }
         let old = std::mem::take(&mut self.listings);
-        for (name, (id, entry)) in &old {
-            if !listed.contains_key(name) {
-                listings.push(Listing { phase: Phase::Gone, ..self.listing(*id, entry) });
-                self.unlisted(*id);
-            }
+        for (id, entry) in old.iter().filter(|(id, _)| !listed.contains_key(id)) {
+            listings.push(Listing { phase: Phase::Gone, ..self.listing(*id, entry) });
+            self.unlisted(*id);
         }
-        let mut changed: Vec<&(ServerId, Entry)> = listed.values().collect();
-        changed.sort_by_key(|(id, _)| *id);
-        for (id, entry) in changed {
-            let before = old.get(&entry.name).map(|(_, e)| e);
+        for (id, entry) in &listed {
+            let before = old.get(id);
             if before == Some(entry) && kind == RosterKind::Delta {
                 continue;
             }
@@ -51,7 +47,13 @@
         }
     }
 
-    pub(super) fn listing(&self, server: ServerId, entry: &Entry) -> Listing {
+    /// The server of this name, if the list has it.
+    pub(super) fn listed(&self, name: &str) -> Option<ServerId> {
+        let id = server_id(name);
+        self.listings.get(&id).filter(|entry| entry.name == name).map(|_| id)
+    }
+
+    fn listing(&self, server: ServerId, entry: &Entry) -> Listing {
         let fleet = &self.shared.config.fleet;
         let index = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(0);
         Listing {
@@ -70,7 +72,7 @@
 
     /// A server is not in the list any more. Its links go on while something stands there, but a new connection to its
     /// address may meet another server, so none is made.
-    pub(super) fn unlisted(&mut self, id: ServerId) {
+    fn unlisted(&mut self, id: ServerId) {
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.listed = false;
         if server.links.is_empty() {
--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -12,7 +12,7 @@
     Answer, AttemptId, Call, Core, Effect, Input, Listing, Note, Notice, Open, Order, Outcome, OverReason,
     Phase, PlayerId, Refusal, Report, RosterKind, ServerId, SetUp, Tap, Terms, Time,
 };
-use crankpaddle_net::{clock, recv_until, sleep, Outbox};
+use crankpaddle_net::{catch_up, clock, recv_until, take, Outbox};
 use crankpaddle_node_protocol::directory::{Entry, List, State};
 use crankpaddle_node_protocol::rtsp::{self, cseq, Kind};
 use crankpaddle_node_protocol::viewers::{self, cause, Ask, Message};
@@ -23,14 +23,9 @@
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::RecvTimeoutError;
 use std::sync::Arc;
-use std::time::Duration;
 
 const MILLISECOND: u64 = 1_000_000;
 const SECOND: u64 = 1000 * MILLISECOND;
-/// A timer so late tells that the whole process stood still.
-const STALL: u64 = 250 * MILLISECOND;
-/// Then the sockets are read for this long before anything falls due.
-const CATCH_UP: Duration = Duration::from_millis(20);
 /// Links and what is to be released are looked through so often.
 const KEEP_HOUSE: u64 = 100 * MILLISECOND;
 /// Counters are logged so often.
@@ -99,14 +94,14 @@
 pub(crate) struct Hub {
     shared: Arc<Shared>,
     core: Core,
-    conns: HashMap<ConnId, Arc<Conn>>,
+    conns: BTreeMap<ConnId, Arc<Conn>>,
     served: Vec<ConnId>, // Connections on which a session was set up, the latest last.
-    sessions: HashMap<PlayerId, Session>,
+    sessions: BTreeMap<PlayerId, Session>,
     tags: HashMap<Tag, PlayerId>,
     live: HashMap<AttemptId, Live>,
     servers: BTreeMap<ServerId, Server>,
-    links: HashMap<LinkId, Link>,
-    listings: HashMap<String, (ServerId, Entry)>,
+    links: BTreeMap<LinkId, Link>,
+    listings: BTreeMap<ServerId, Entry>,
     unsaid: VecDeque<(u64, Vec<u8>)>, // Releases to viewers that no connection could take, and until when.
     last_player: u64,
     last_link: u64,
@@ -118,9 +113,9 @@
 }
 
 fn terms(shared: &Shared) -> Terms {
-    let classes = shared.config.fleet.classes.len();
+    let deadlines = &shared.config.fleet.deadlines;
     Terms {
-        give_up: vec![u64::MAX / 4; classes], // The viewer's own deadline is looked at when it comes.
+        give_up: deadlines.iter().map(|deadline| deadline.saturating_add(LEFT_SLACK)).collect(),
         answer_margin: MARGIN,
         resume: 0,
         open: shared.budget.open,
@@ -139,14 +134,14 @@
         let known = config.known.clone();
         let mut hub = Hub {
             core,
-            conns: HashMap::new(),
+            conns: BTreeMap::new(),
             served: Vec::new(),
-            sessions: HashMap::new(),
+            sessions: BTreeMap::new(),
             tags: HashMap::new(),
             live: HashMap::new(),
             servers: BTreeMap::new(),
-            links: HashMap::new(),
-            listings: HashMap::new(),
+            links: BTreeMap::new(),
+            listings: BTreeMap::new(),
             unsaid: VecDeque::new(),
             last_player: 0,
             last_link: 0,
@@ -175,13 +170,10 @@
                     Err(RecvTimeoutError::Disconnected) => break,
                 }
             }
-            self.take(inbox);
-            // Danger: after a standstill the timers of all requests are due while answers that came in time lie
-            // unread in the sockets. They are read first.
-            if self.core.next_expiry().is_some_and(|t| clock::now() > t.0.saturating_add(STALL)) {
+            take(inbox, BATCH, |msg| self.hear(msg));
+            let due = self.core.next_expiry().map_or(u64::MAX, |t| t.0);
+            if catch_up(inbox, due, BATCH, |msg| self.hear(msg)) {
                 tracing::warn!("stood still");
-                sleep(CATCH_UP);
-                while self.take(inbox) == BATCH {}
             }
             self.with_core(|core, now, effects| core.expire(now, effects));
             let now = clock::now();
@@ -208,15 +200,6 @@
         late && self.core.waiting() == 0 && self.core.playing() == 0 && self.unsaid.is_empty()
     }
 
-    fn take(&mut self, inbox: &Receiver<Msg>) -> usize {
-        let mut count = 0;
-        while let Some(msg) = (count < BATCH).then(|| inbox.try_recv().ok()).flatten() {
-            self.hear(msg);
-            count += 1;
-        }
-        count
-    }
-
     fn hear(&mut self, msg: Msg) {
         match msg {
             Msg::Joined(conn) => drop(self.conns.insert(conn.id, conn)),
@@ -301,8 +284,7 @@
             self.watch(id, now);
             let Some(server) = self.servers.get(&id) else { continue };
             if !server.listed && server.standing == 0 && server.held.is_empty() {
-                let links = server.links.clone();
-                links.into_iter().for_each(|link| self.link_down(link));
+                self.close_links(id);
                 self.servers.remove(&id);
             } else if !server.listed && server.health.wants_dial(now, true) {
                 self.lose(id); // Silent, and it may not be asked any more.
--- a/crates/node/src/hub/said.rs
+++ b/crates/node/src/hub/said.rs
@@ -42,7 +42,7 @@
         }
     }
 
-    pub(super) fn set_up_answered(
+    fn set_up_answered(
         &mut self,
         link: LinkId,
         server: ServerId,
@@ -95,7 +95,7 @@
     }
 
     /// A server releases a session.
-    pub(super) fn released(&mut self, attempt: AttemptId, message: &rtsp::Message) {
+    fn released(&mut self, attempt: AttemptId, message: &rtsp::Message) {
         let Some(live) = self.live.get(&attempt) else { return };
         let (player, report) = (live.player, self.report(message));
         if !live.answered {
@@ -113,12 +113,9 @@
         self.tell_core(Input::Over(attempt, outcome, report));
     }
 
-    pub(super) fn report(&self, message: &rtsp::Message) -> Report {
-        self.named(&message.state())
-    }
-
-    /// The figures of a report that the settings name, in their order.
-    pub(super) fn named(&self, figures: &[(&str, f64)]) -> Report {
+    /// The figures of a message's report that the settings name, in their order.
+    fn report(&self, message: &rtsp::Message) -> Report {
+        let figures = message.state();
         let fields = &self.shared.config.fleet.fields;
         let figure = |name: &str| figures.iter().find(|(n, _)| *n == name).map(|(_, v)| *v);
         fields.iter().filter_map(|(name, field)| Some((*field, figure(name)?))).collect()
--- a/crates/node/src/hub/servers.rs
+++ b/crates/node/src/hub/servers.rs
@@ -1,6 +1,13 @@
 //! Links to servers: where a set-up is written, and what becomes of it when they break.
 use super::*;
 
+impl Link {
+    /// Whether it came up and stands, as far as the kernel knows.
+    fn is_up(&self) -> bool {
+        self.outbox.as_ref().is_some_and(|outbox| outbox.socket().is_open())
+    }
+}
+
 impl Hub {
     pub(super) fn set_up(&mut self, attempt: AttemptId, server: ServerId, order: &Order, until: Time) {
         let player = Tag::parse(&order.key).and_then(|tag| self.tags.get(&tag).copied());
@@ -42,9 +49,7 @@
         let room = self.links.len() < self.shared.budget.links && of_server < MOST_LINKS;
         if room || of_server == 0 && self.drop_idle_link() {
             if let Some(link) = self.dial(server) {
-                self.links.entry(link).and_modify(|l| l.open.push(attempt));
-                self.live.entry(attempt).and_modify(|l| l.link = Some(link));
-                return;
+                return self.wait_for(attempt, link);
             }
         }
         // Danger: while all its links are still connecting none is up; a server that is only busy being connected to would
@@ -57,14 +62,19 @@
             return self.set_up_ended(attempt, Outcome::ConnectFailed, Report::new());
         };
         if load(&least).0 {
-            self.links.entry(least).and_modify(|l| l.open.push(attempt));
-            self.live.entry(attempt).and_modify(|l| l.link = Some(least));
+            self.wait_for(attempt, least);
         } else if !self.write_set_up(attempt, least) {
             self.set_up_ended(attempt, Outcome::ConnectFailed, Report::new());
             self.link_down(least);
         }
     }
 
+    /// A set-up is written when this link comes up.
+    fn wait_for(&mut self, attempt: AttemptId, link: LinkId) {
+        self.links.entry(link).and_modify(|l| l.open.push(attempt));
+        self.live.entry(attempt).and_modify(|l| l.link = Some(link));
+    }
+
     /// A server's link of this sort, the one used last first.
     pub(super) fn link_of(&self, server: ServerId, sort: impl Fn(&Link) -> bool) -> Option<LinkId> {
         let links = &self.servers.get(&server)?.links;
@@ -90,7 +100,7 @@
             blob: &session.blob,
         });
         // Danger: what is written into a connection that was just closed may have run for all one knows.
-        if !outbox.socket().is_open() || !outbox.push_first(&bytes) {
+        if !outbox.socket().is_open() || !outbox.push(&bytes) {
             return false;
         }
         tracing::trace!(tag = %live.tag, server = live.server.0, link = id.0, rung = live.rung, "set-up sent");
@@ -147,11 +157,10 @@
 
     /// Sends on this link, or on another one of the server, or on the next one that comes up.
     pub(super) fn send_server(&mut self, server: ServerId, link: Option<LinkId>, bytes: Vec<u8>) {
-        let up = |l: &Link| l.outbox.as_ref().is_some_and(|o| o.socket().is_open());
-        let own = link.filter(|l| self.links.get(l).is_some_and(up));
-        let link = own.or_else(|| self.link_of(server, up));
+        let own = link.filter(|l| self.links.get(l).is_some_and(Link::is_up));
+        let link = own.or_else(|| self.link_of(server, Link::is_up));
         let outbox = link.and_then(|l| self.links.get(&l)).and_then(|l| l.outbox.clone());
-        if outbox.is_some_and(|outbox| outbox.push_first(&bytes)) {
+        if outbox.is_some_and(|outbox| outbox.push(&bytes)) {
             return;
         }
         if let Some(at) = self.servers.get_mut(&server).filter(|at| at.listed) {
@@ -230,8 +239,8 @@
     /// dying process closes its connections one by one, the first may be laid to the connection alone.
     pub(super) fn link_ended(&mut self, id: LinkId, spoilt: bool) {
         let Some(link) = self.links.remove(&id) else { return };
-        let stands = |l: &Link| l.outbox.as_ref().is_some_and(|o| o.socket().is_open()) && l.stale.is_none();
-        let lives = spoilt || self.link_of(link.server, stands).is_some();
+        let stands = |l: &Link| l.is_up() && l.stale.is_none();
+        let lives = spoilt || !link.open.is_empty() && self.link_of(link.server, stands).is_some();
         let outcome = if lives { Outcome::Error } else { Outcome::Reset };
         tracing::trace!(link = id.0, server = link.server.0, open = link.open.len(), "a link is down");
         link.outbox.iter().for_each(|outbox| outbox.socket().shut());
@@ -261,7 +270,7 @@
             if self.links.len() < self.shared.budget.links || self.drop_idle_link() {
                 self.dial(id);
             }
-        } else if !server.listed && !server.links.iter().any(|l| self.links.contains_key(l)) {
+        } else if !server.listed && server.links.is_empty() {
             self.lose(id);
         }
     }
@@ -281,6 +290,10 @@
             self.drop_live(attempt);
             self.tell_core(Input::Over(attempt, Outcome::Reset, Report::new()));
         }
+        self.close_links(id);
+    }
+
+    pub(super) fn close_links(&mut self, id: ServerId) {
         let links = self.servers.get(&id).map(|s| s.links.clone()).unwrap_or_default();
         links.into_iter().for_each(|link| self.link_down(link));
     }
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -1,6 +1,6 @@
 //! Viewers' connections: reading them, and closing those that are of no use when there are too many.
 use crate::shared::{count, Msg, Shared};
-use crankpaddle_net::{clock, Outbox, Socket, Turns};
+use crankpaddle_net::{clock, Outbox, Socket};
 use crankpaddle_node_protocol::viewers::Decoder;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -101,28 +101,18 @@
     });
     shared.viewers.conns().insert(conn.id, conn.clone());
     shared.tell(Msg::Joined(conn.clone()));
-    read(&socket, &conn, shared);
+    read(&conn, shared);
     socket.shut();
     shared.viewers.conns().remove(&conn.id);
     shared.tell(Msg::Gone(conn.id));
 }
 
-fn read(socket: &Socket, conn: &Conn, shared: &Shared) {
+fn read(conn: &Conn, shared: &Shared) {
     let (mut decoder, mut messages, mut amid) = (Decoder::default(), Vec::new(), false);
-    let (mut piece, mut turns) = ([0u8; PIECE], Turns::default());
-    loop {
-        conn.outbox.flush();
-        let got = match socket.try_read(&mut piece) {
-            Ok(None) => {
-                socket.wait();
-                turns.waited();
-                continue;
-            }
-            Ok(Some(0)) | Err(_) => return,
-            Ok(Some(n)) => n,
-        };
+    let socket = conn.outbox.socket();
+    conn.outbox.read_each::<PIECE>(|piece| {
         let now = clock::now();
-        let fed = decoder.feed(&piece[..got], &mut messages);
+        let fed = decoder.feed(piece, &mut messages);
         let whole = !messages.is_empty();
         if whole {
             conn.spoke.store(true, Ordering::Relaxed);
@@ -133,7 +123,8 @@
         }
         if let Err(fault) = fed {
             tracing::debug!(conn = conn.id.0, %fault, "a viewer's connection is of no use");
-            return count(&shared.shed.unreadable);
+            count(&shared.shed.unreadable);
+            return false;
         }
         // A message gets its time from its first byte, not anew with each.
         match (decoder.is_amid(), amid && !whole) {
@@ -142,6 +133,6 @@
             _ => {}
         }
         amid = decoder.is_amid();
-        turns.took(); // One that sends at full speed always has something to read.
-    }
+        true
+    });
 }
--- a/crates/node/tests/rig/mod.rs
+++ b/crates/node/tests/rig/mod.rs
@@ -314,6 +314,20 @@
         "telemetry": {"fields": ["x0"], "how": "answers"}})
 }
 
+/// A node's configuration, on a port of the system's.
+pub fn configuration(servers: &[Server], directory: &Directory) -> Value {
+    let instance = |s: &Server| {
+        json!({"instanceId": s.name, "hostPort": s.address.to_string(), "zone": "east", "machineType": "std",
+            "cell": 0, "lifecycle": "ready", "weight": 1, "startedAtMs": 0})
+    };
+    let instances: Vec<Value> = servers.iter().map(instance).collect();
+    json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "1",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "nameserver": directory.address.to_string(),
+        "known": {"seq": 1, "results": [{"seq": 1, "fleet": {"generation": 1, "reset": true,
+            "instances": instances}}]},
+        "settings": settings(0)})
+}
+
 impl Rig {
     pub fn start(servers: u32) -> Rig {
         Rig::start_with(servers, |_| {})
@@ -327,18 +341,7 @@
     pub fn start_tapped(servers: u32, change: impl FnOnce(&mut Value), tap: Option<Tap>) -> Rig {
         let servers: Vec<Server> = (1..=servers).map(Server::start).collect();
         let directory = Directory::start(Told { serial: 1, lines: lines(&servers), spoilt: None });
-        let instances: Vec<Value> = servers
-            .iter()
-            .map(|s| {
-                json!({"instanceId": s.name, "hostPort": s.address.to_string(), "zone": "east", "machineType": "std",
-                    "cell": 0, "lifecycle": "ready", "weight": 1, "startedAtMs": 0})
-            })
-            .collect();
-        let mut config = json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "1",
-            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "nameserver": directory.address.to_string(),
-            "known": {"seq": 1, "results": [{"seq": 1, "fleet": {"generation": 1, "reset": true,
-                "instances": instances}}]},
-            "settings": settings(0)});
+        let mut config = configuration(&servers, &directory);
         change(&mut config);
         crankpaddle_net::start(Some(1));
         let parsed = Config::parse(config.to_string().as_bytes()).expect("a sound configuration");
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -105,8 +105,6 @@
     attempts_cap: u32,
     #[serde(default = "quarter_second")]
     connect_timeout: u64,
-    #[serde(default = "half_minute")]
-    conn_idle: u64,
     #[serde(default)]
     cancel: bool,
     #[serde(default)]
@@ -164,10 +162,6 @@
     250_000_000
 }
 
-fn half_minute() -> u64 {
-    30_000_000_000
-}
-
 /// What was read: the module's settings, and the names that stand for its numbers outside of it.
 #[derive(Clone, Debug)]
 pub struct Fleet {
@@ -187,8 +181,6 @@
     pub kinds: Vec<String>,
     /// A connection that does not come up within this time never will, nanoseconds.
     pub connect_timeout: u64,
-    /// Idle connections are closed after this time, nanoseconds.
-    pub idle: u64,
 }
 
 /// Reads the settings.
@@ -291,6 +283,5 @@
         zones: f.azs,
         kinds: f.kinds,
         connect_timeout: f.limits.connect_timeout,
-        idle: f.limits.conn_idle,
     })
 }
