Tests over sockets: a vanished machine, hundreds withdrawn at once, a message of 60 MB

The front node's hard cases lacked tests for these. The stand-in server stops accepting and its listener's queue is filled, so that new connections never come up: the session there is released with 41 within 8 s, and a paid set-up behind it is refused as never sent. 200 set-ups given up in one write leave no entry; a line of 60 MB is closed at the bound.

--- a/crates/node-protocol/tests/codecs.rs
+++ b/crates/node-protocol/tests/codecs.rs
@@ -144,6 +144,7 @@
         read(viewers::echoed(tag(0xab))),
         serde_json::json!({"verb": "ECHOED", "tag": t, "opts": {}, "rc": 1})
     );
+    assert_eq!(read(viewers::moved(tag(0xab))), serde_json::json!({"verb": "MOVE", "tag": t, "opts": {}}));
 }
 
 #[test]
--- a/crates/node/tests/crowds.rs
+++ b/crates/node/tests/crowds.rs
@@ -78,3 +78,31 @@
     wait("connections are gone", || rig.node.counts().viewers == 0);
     assert!(rig.node.counts().links <= 16, "{:?}", rig.node.counts());
 }
+
+#[test]
+fn hundreds_withdrawn_at_once_leave_nothing_behind() {
+    let rig = Rig::start(1);
+    let mut viewer = rig.viewer();
+    let start = |n| format!("{}\n", set_up(tag(n), PAID, "15000", ""));
+    let finish = |n| format!("{}\n", json!({"verb": "FINISH", "tag": tag(n).as_str(), "opts": {}, "rc": 16}));
+    let all: String = (0..200).map(start).chain((0..200).map(finish)).collect();
+    viewer.send(all.as_bytes());
+    let heard: Vec<_> = (0..200).map(|_| viewer.line()).collect();
+    let withdrawn = heard.iter().filter(|l| l["verb"] == "FINISHED").count();
+    assert!(withdrawn > 0 && heard.iter().all(|l| l["verb"] != "STARTED"), "{heard:?}");
+    wait("nothing waits any more", || rig.node.counts().waiting == 0);
+    rig.idle();
+}
+
+#[test]
+fn a_message_of_sixty_megabytes_ends_at_its_bound_and_others_are_served() {
+    let rig = Rig::start(1);
+    let (mut big, mut other) = (rig.viewer(), rig.viewer());
+    let piece = vec![b'x'; 1 << 20];
+    let mut sent = 0;
+    while sent < 60 && big.try_send(&piece) {
+        sent += 1;
+    }
+    assert!(sent < 60, "it was closed long before its end");
+    rig.session(&mut other, tag(1), FREE);
+}
--- a/crates/node/tests/rig/mod.rs
+++ b/crates/node/tests/rig/mod.rs
@@ -39,6 +39,7 @@
     heard: Receiver<Heard>,
     held: RefCell<VecDeque<Heard>>, // Heard, and not asked for yet.
     deaf: Arc<AtomicBool>,
+    vanished: Arc<AtomicBool>,
 }
 
 fn listen(address: SocketAddr) -> TcpListener {
@@ -56,12 +57,16 @@
         let (tell, heard) = channel();
         let conns: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
         let deaf = Arc::new(AtomicBool::new(false));
-        let (all, ends) = (conns.clone(), deaf.clone());
+        let vanished = Arc::new(AtomicBool::new(false));
+        let (all, ends, lost) = (conns.clone(), deaf.clone(), vanished.clone());
         std::thread::spawn(move || {
             for stream in listener.incoming() {
                 if ends.load(Ordering::Acquire) {
                     return; // The listener closes with this.
                 }
+                while lost.load(Ordering::Acquire) {
+                    std::thread::park(); // It stays open, and nobody accepts.
+                }
                 let Ok(stream) = stream else { return };
                 let _ = stream.set_nodelay(true); // Only slower without it.
                 let copy = stream.try_clone().expect("a descriptor");
@@ -77,7 +82,15 @@
                 std::thread::spawn(move || hear(stream, number, &tell));
             }
         });
-        Server { name: format!("s-{number:08x}"), address, conns, heard, held: RefCell::default(), deaf }
+        Server {
+            name: format!("s-{number:08x}"),
+            address,
+            conns,
+            heard,
+            held: RefCell::default(),
+            deaf,
+            vanished,
+        }
     }
 
     /// The first thing heard, and not taken yet, of which `wanted` makes something; the others stay.
@@ -140,6 +153,15 @@
         let _ = self.conns.lock().expect("unpoisoned")[conn].shutdown(Shutdown::Both);
     }
 
+    /// The machine vanishes: what is open stays open and silent, and no new connection comes up. The connections that fill
+    /// the listener's queue must be kept for as long.
+    pub fn vanish(&self) -> Vec<TcpStream> {
+        self.vanished.store(true, Ordering::Release);
+        let _ = TcpStream::connect(self.address); // Wakes the listener, which takes nothing more.
+        let short = Duration::from_millis(100);
+        std::iter::from_fn(|| TcpStream::connect_timeout(&self.address, short).ok()).collect()
+    }
+
     /// The process dies: nobody listens any more and connections end.
     pub fn die(&self) {
         self.deaf.store(true, Ordering::Release);
--- a/crates/node/tests/rough.rs
+++ b/crates/node/tests/rough.rs
@@ -288,3 +288,22 @@
     server.send(again, &stands(tag(n), "x"));
     assert_eq!(viewer.line()["verb"], "STARTED");
 }
+
+#[test]
+fn sessions_of_a_machine_that_vanished_are_released_and_its_links_not_trusted() {
+    // Servers tell of their links each second here.
+    let rig = Rig::start_with(1, |c| c["settings"] = settings(1_000_000_000));
+    let mut viewer = rig.viewer();
+    let (server, _) = rig.session(&mut viewer, tag(1), FREE);
+    let before = Instant::now();
+    let full = server.vanish();
+    let end = viewer.line();
+    assert_eq!(
+        (&end["verb"], &end["tag"], &end["rc"]),
+        (&json!("FINISH"), &json!(tag(1).as_str()), &json!(41))
+    );
+    assert!(before.elapsed().as_secs() < 8, "released in time: {:?}", before.elapsed());
+    assert!(!full.is_empty());
+    viewer.start(tag(2), PAID, 15_000);
+    assert_eq!(viewer.line()["rc"], 34, "nothing is sent there, so nothing can have run");
+}
