--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -557,9 +557,11 @@
         if let Some(p) = player.and_then(|p| self.players.get_mut(&p)) {
             p.waiting = p.waiting.saturating_sub(1);
         }
-        // Danger: what is over can't be said to play; a viewer would wait for what never comes. It ran, so it has failed.
+        // Danger: what was cut can't be said to play; a viewer would wait for what never comes. It ran, so it has failed. One
+        // that came to its end has played.
+        let cut = early.as_ref().is_some_and(|(outcome, _)| *outcome != Outcome::Ok);
         let plays = Answer::Plays { session: id, attempt, server, rung };
-        let answer = if early.is_some() { Answer::Failed(Failure::Broken) } else { plays };
+        let answer = if cut { Answer::Failed(Failure::Broken) } else { plays };
         out.extend(call.map(|c| Effect::Answer(c, answer)));
         let (took, request) = (now.0.saturating_sub(sent.0), id);
         self.events.push_back(Event::Playing { request, attempt: number, server, took });
@@ -572,8 +574,12 @@
             self.events.push_back(Event::Note { request, server, note });
         }
         notes.into_iter().for_each(|note| self.note(attempt, note));
-        if let Some((outcome, report)) = early {
-            self.end_playing(id, outcome, report, Past::Failed, None);
+        match early {
+            Some((outcome, report)) if cut => {
+                self.end_playing(id, outcome, report, Past::Failed, None);
+            }
+            Some((outcome, report)) => self.over(attempt, outcome, report, out),
+            None => {}
         }
     }
 
