Membership without I/O: SWIM with local health, own standing, a board with ages, bounded budget

Need: a front knew only its own number and how many there are. What limits, verdicts and restarts of a fleet will stand on: who is there, who can hear whom, and small facts that reach all.

No sockets yet.

--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,26 @@
+//! The members of a fleet of fronts: who is there, who can hear whom, and a board of small facts that reaches all.
+//!
+//! Pure: datagrams and time go in, datagrams and changes come out. The reference is SWIM with suspicion (Das, Gupta,
+//! Motivala, 2002) and Lifeguard's local health (Dadgar, Phillips, Currey, 2018).
+//!
+//! **The law.** Nothing here is agreed: each front keeps its rules alone. What peers say may make it more careful; a peer
+//! that is silent, late, wrong or lying costs worth, never a rule.
+//!
+//! - [`Standpoint`]: what is known of one member, and which of two pieces of news is the later;
+//! - [`Peers`]: probes, suspicion, refutation, rejoining, own standing;
+//! - [`Entry`]: what a member has on the board, with its age;
+//! - [`wire`]: datagrams, keyed and versioned.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+mod board;
+mod budget;
+mod news;
+mod peers;
+mod standing;
+mod suspicion;
+pub mod wire;
+
+pub use board::{Entry, MOST_VALUE};
+pub use news::{Standpoint, State};
+pub use peers::{Change, Counters, Member, Output, Peers, Settings};
+pub use standing::Standing;
--- /dev/null
+++ b/crates/membership/src/peers.rs
@@ -0,0 +1,372 @@
+//! Members, probes and suspicion: what is heard and when, and what goes out for it.
+mod hear;
+mod probe;
+mod spread;
+
+use crate::board::{Board, Entry, MOST_VALUE};
+use crate::budget::Budget;
+use crate::news::{Standpoint, State};
+use crate::standing::{Health, Standing};
+use crate::suspicion::Suspicion;
+use crate::wire::{Fault, MOST};
+use probe::{Help, Probe};
+use spread::Item;
+use std::collections::{BTreeMap, BTreeSet};
+
+const MILLISECOND: u64 = 1_000_000;
+const SECOND: u64 = 1000 * MILLISECOND;
+/// A timer later than this tells that we stood still.
+const STALL: u64 = 500 * MILLISECOND;
+/// For so long after a start another process under our name is taken for a former life of ours.
+const SETTLED: u64 = 10 * SECOND;
+/// Conflicts over our name after which the other process has it ...
+const CONFLICTS: u32 = 2;
+/// ... within this time.
+const CONTESTED: u64 = 60 * SECOND;
+/// Members gone for longer than this are forgotten.
+const FORGET: u64 = 600 * SECOND;
+
+/// How a front takes part.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// Where others reach it, as it says.
+    pub address: String,
+    /// Its host's wall clock at its start, milliseconds.
+    pub epoch: u64,
+    /// Drawn at its start.
+    pub life: u64,
+    /// Keyed checksum: a fleet's own, so that no other fleet mixes in.
+    pub key: [u8; 16],
+    /// Where others may be found at first.
+    pub seeds: Vec<String>,
+    /// Time between two probes, nanoseconds.
+    pub probe_every: u64,
+    /// Time for a direct answer.
+    pub answer_within: u64,
+    /// Members asked to probe for us.
+    pub helpers: usize,
+    /// Budget, a second: datagrams and bytes.
+    pub datagrams: f64,
+    /// See `datagrams`.
+    pub bytes: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            name: String::new(),
+            address: String::new(),
+            epoch: 0,
+            life: 0,
+            key: [0; 16],
+            seeds: Vec::new(),
+            probe_every: SECOND,
+            answer_within: 400 * MILLISECOND,
+            helpers: 3,
+            datagrams: 60.0,
+            bytes: 30_000.0,
+        }
+    }
+}
+
+/// A member that came to be taken for something else.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// Its name.
+    pub name: String,
+    /// What it is taken for now.
+    pub state: State,
+    /// Who said so: a member's name, our own where we found it ourselves.
+    pub by: String,
+    /// Whether it is another life of it than before.
+    pub restarted: bool,
+}
+
+/// What is to be done, in order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Send a datagram to an address.
+    Send(String, Vec<u8>),
+    /// A member changed.
+    Change(Change),
+    /// Our own standing changed.
+    Standing(Standing),
+}
+
+/// A member as operators see it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Its name.
+    pub name: String,
+    /// Where it is reached, as it says.
+    pub address: String,
+    /// What it is taken for.
+    pub state: State,
+    /// Since when, our clock.
+    pub since: u64,
+    /// Who said so.
+    pub by: String,
+    /// Its last answer to a probe took so long.
+    pub rtt: Option<u64>,
+}
+
+/// What was dropped, sent and found.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Datagrams and bytes sent.
+    pub sent: (u64, u64),
+    /// Datagrams heard.
+    pub heard: u64,
+    /// Dropped: unreadable.
+    pub garbage: u64,
+    /// Dropped: of another version.
+    pub versions: u64,
+    /// Dropped: another fleet's, or damaged.
+    pub checksums: u64,
+    /// Dropped: meant for another member.
+    pub strays: u64,
+    /// Dropped: of an earlier life of their sender.
+    pub old_lives: u64,
+    /// Not answered: a sender of too many.
+    pub floods: u64,
+    /// Not sent: the budget was used.
+    pub held_back: u64,
+    /// Entries or news of ours that were none, set right.
+    pub forged: u64,
+    /// Other processes under our name met.
+    pub conflicts: u64,
+    /// Members that we took for gone.
+    pub accused: u64,
+}
+
+pub(crate) struct Known {
+    at: Standpoint,
+    address: String,
+    since: u64,
+    by: String,
+    rtt: Option<u64>,
+    suspicion: Option<Suspicion>,
+    answers: Budget, // For what it asks.
+}
+
+/// The state machine. Times are nanoseconds of a monotonic clock.
+pub struct Peers {
+    settings: Settings,
+    me: Standpoint,
+    started: u64,
+    others: BTreeMap<String, Known>,
+    board: Board,
+    own_entries: BTreeSet<u8>,
+    pending: BTreeSet<(u32, Item)>,
+    told: BTreeMap<Item, u32>,
+    ring: Vec<String>,
+    probe: Option<Probe>,
+    helping: BTreeMap<u32, Help>,
+    health: Health,
+    standing: Standing,
+    conflicts: (u32, u64),
+    replaced: bool,
+    left: bool,
+    seq: u32,
+    digest: usize,
+    probe_at: u64,
+    gossip_at: u64,
+    sync_at: u64,
+    rejoin_at: u64,
+    due: u64,
+    budget: (Budget, Budget),
+    counters: Counters,
+    rng: oorandom::Rand32,
+}
+
+impl Peers {
+    /// A member that knows nobody yet. `seed` feeds its choices of whom to ask.
+    pub fn new(settings: Settings, seed: u64, now: u64) -> Peers {
+        let me = Standpoint { epoch: settings.epoch, life: settings.life, count: 0, state: State::Alive };
+        let mut rng = oorandom::Rand32::new(seed);
+        // Fronts that start together do not ask together.
+        let within =
+            |rng: &mut oorandom::Rand32, time: u64| now + (f64::from(rng.rand_float()) * time as f64) as u64;
+        Peers {
+            me,
+            started: now,
+            others: BTreeMap::new(),
+            board: Board::default(),
+            own_entries: BTreeSet::new(),
+            pending: BTreeSet::new(),
+            told: BTreeMap::new(),
+            ring: Vec::new(),
+            probe: None,
+            helping: BTreeMap::new(),
+            health: Health::default(),
+            standing: Standing::Alone,
+            conflicts: (0, now),
+            replaced: false,
+            left: false,
+            seq: 0,
+            digest: rng.rand_u32() as usize,
+            probe_at: within(&mut rng, settings.probe_every),
+            gossip_at: u64::MAX,
+            sync_at: within(&mut rng, 2 * SECOND),
+            rejoin_at: now,
+            due: now,
+            budget: (Budget::new(settings.datagrams, now), Budget::new(settings.bytes, now)),
+            counters: Counters::default(),
+            settings,
+            rng,
+        }
+    }
+
+    /// When [`Peers::expire`] must be called next.
+    pub fn next(&self) -> u64 {
+        if self.replaced || self.left {
+            return u64::MAX;
+        }
+        let probe = self.probe.as_ref().map_or(self.probe_at, |p| p.next());
+        let suspects = self.others.values().filter_map(|k| Some(k.suspicion.as_ref()?.until()));
+        let helping = self.helping.values().map(|h| h.until);
+        [probe, self.gossip_at, self.sync_at, self.rejoin_at]
+            .into_iter()
+            .chain(suspects)
+            .chain(helping)
+            .fold(u64::MAX, u64::min)
+    }
+
+    /// Lets fall due what is due.
+    pub fn expire(&mut self, now: u64, out: &mut Vec<Output>) {
+        if self.replaced || self.left {
+            return;
+        }
+        let due = self.next();
+        if now > due.saturating_add(STALL) {
+            self.stood_still(now, now - due);
+        }
+        self.probes(now, out);
+        self.helps(now, out);
+        self.suspicions(now, out);
+        if now >= self.gossip_at {
+            self.gossip(now, out);
+        }
+        if now >= self.sync_at {
+            self.sync(now, out);
+        }
+        if now >= self.rejoin_at {
+            self.rejoin(now, out);
+        }
+        self.stand(now, out);
+        self.due = self.next();
+    }
+
+    /// Danger: a process that stood still (a stop, a host without time) finds all its timers due: it would take for gone
+    /// whoever had no chance to be heard. It finds itself late first.
+    fn stood_still(&mut self, now: u64, by: u64) {
+        self.health.stood_still(now.saturating_add(3 * self.settings.probe_every));
+        self.probe = None;
+        self.probe_at = now;
+        self.helping.clear();
+        let again = 2 * self.settings.probe_every;
+        let suspicions = self.others.values_mut().filter_map(|k| k.suspicion.as_mut());
+        suspicions.for_each(|s| s.put_off(by.saturating_add(again)));
+    }
+
+    fn stand(&mut self, now: u64, out: &mut Vec<Output>) {
+        let others =
+            self.others.values().filter(|k| k.at.state < State::Left && k.at.state != State::Gone).count();
+        let gone = self.others.values().any(|k| k.at.state == State::Gone);
+        let standing = match self.health.standing(now, others) {
+            _ if self.replaced => Standing::Replaced,
+            Standing::Alone if gone => Standing::CutOff,
+            standing => standing,
+        };
+        if standing != self.standing {
+            self.standing = standing;
+            out.push(Output::Standing(standing));
+        }
+    }
+
+    /// Says that we leave; nothing goes out after that.
+    pub fn leave(&mut self, now: u64, out: &mut Vec<Output>) {
+        self.me.state = State::Left;
+        self.push(Item::Member(self.settings.name.clone()), now);
+        for _ in 0..3 {
+            self.gossip(now, out);
+        }
+        self.left = true;
+    }
+
+    /// Writes an entry of ours.
+    ///
+    /// # Errors
+    /// It is too long.
+    pub fn write(&mut self, now: u64, key: u8, value: Vec<u8>) -> Result<(), usize> {
+        if value.len() > MOST_VALUE || value.len() + 200 > MOST {
+            return Err(MOST_VALUE);
+        }
+        let count = self.board.version(&self.settings.name, key).map_or(0, |(_, _, count)| count);
+        self.write_as(now, key, value, count.saturating_add(1));
+        Ok(())
+    }
+
+    /// What a member has on the board, unless it has left.
+    pub fn entry(&self, now: u64, owner: &str, key: u8) -> Option<Entry> {
+        self.board.read(now, owner, key)
+    }
+
+    /// All others that are known, by name.
+    pub fn members(&self) -> Vec<Member> {
+        let member = |(name, k): (&String, &Known)| Member {
+            name: name.clone(),
+            address: k.address.clone(),
+            state: k.at.state,
+            since: k.since,
+            by: k.by.clone(),
+            rtt: k.rtt,
+        };
+        self.others.iter().map(member).collect()
+    }
+
+    /// What one is taken for.
+    pub fn state_of(&self, name: &str) -> Option<State> {
+        self.others.get(name).map(|k| k.at.state)
+    }
+
+    /// Our own standing.
+    pub fn standing(&self) -> Standing {
+        self.standing
+    }
+
+    /// Our own standpoint.
+    pub fn me(&self) -> Standpoint {
+        self.me
+    }
+
+    /// What was counted.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    fn fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Garbage => self.counters.garbage += 1,
+            Fault::Version => self.counters.versions += 1,
+            Fault::Checksum => self.counters.checksums += 1,
+        }
+    }
+
+    fn alive(&self) -> usize {
+        self.others.values().filter(|k| k.at.state <= State::Suspect).count()
+    }
+
+    /// Some members that may be asked, by chance, without one.
+    fn some(&mut self, most: usize, but: &str) -> Vec<String> {
+        let may = |(name, k): &(&String, &Known)| k.at.state <= State::Suspect && *name != but;
+        let mut names: Vec<&String> = self.others.iter().filter(may).map(|(name, _)| name).collect();
+        for i in 0..most.min(names.len()) {
+            let j = i + self.rng.rand_range(0..(names.len() - i) as u32) as usize;
+            names.swap(i, j);
+        }
+        names.into_iter().take(most).cloned().collect()
+    }
+}
