--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -1,6 +1,7 @@
 //! The laboratory's commands.
 use crate::{Failure, BAD_FILE};
 use clap::{Args, Subcommand};
+use crankpaddle_fleet_net::CASES;
 use crankpaddle_lab::day::{self, Play};
 use crankpaddle_lab::import::{import, Fit};
 use crankpaddle_lab::judge::{judge, Rules};
@@ -30,6 +31,11 @@
         crankpaddle lab day my-day.textproto --seed 3 --report day.jsonl"
     )]
     Day(DayArgs),
+    /// Play a case of a fleet's members, with faults between them, and judge its claims; exits 1 if one is broken.
+    #[command(
+        after_help = "Example:\n  crankpaddle lab fleet deaths --virtual --fronts 240 --seed 3\n  crankpaddle lab fleet --list"
+    )]
+    Fleet(FleetArgs),
     /// Judge records that a day reported, without playing it again.
     Judge {
         /// The day that they are of: a built-in name or a script.
@@ -119,6 +125,51 @@
     },
 }
 
+/// How a case of a fleet is played.
+#[derive(Args)]
+pub struct FleetArgs {
+    /// The case.
+    #[arg(required_unless_present = "list")]
+    name: Option<String>,
+    /// Tell the cases.
+    #[arg(long)]
+    list: bool,
+    /// In this process on a given clock and a net in memory; the only way as yet.
+    #[arg(long = "virtual", required_unless_present = "list")]
+    virtually: bool,
+    /// Fronts.
+    #[arg(long, default_value_t = 40, value_parser = clap::value_parser!(u32).range(8..=5000))]
+    fronts: u32,
+    /// For all that is drawn.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+fn fleet(args: &FleetArgs) -> Result<ExitCode, Failure> {
+    if args.list {
+        CASES.iter().for_each(|case| println!("{:10} {}", case.name, case.what));
+        return Ok(ExitCode::SUCCESS);
+    }
+    let wanted = args.name.as_deref().unwrap_or_default();
+    let Some(case) = CASES.iter().find(|case| case.name == wanted) else {
+        let known: Vec<&str> = CASES.iter().map(|case| case.name).collect();
+        let what = format!("{wanted}: no such case; there are {}", known.join(", "));
+        return Err(Failure { what, status: BAD_FILE });
+    };
+    eprintln!("fleet {wanted}: seed {}, {}, in virtual time", args.seed, case.what);
+    let played = crankpaddle_fleet_net::play(case, args.fronts as usize, args.seed);
+    for claim in &played.claims {
+        eprintln!("{}: {}: {}", if claim.kept { "kept" } else { "BROKEN" }, claim.what, claim.measured);
+    }
+    eprintln!(
+        "sent by one front at most: {:.1} datagrams, {:.0} bytes a second",
+        played.sent.0, played.sent.1
+    );
+    let (kept, all) = (played.claims.iter().filter(|c| c.kept).count(), played.claims.len());
+    println!("fleet {wanted}: fronts {}, claims kept {kept}/{all}", args.fronts);
+    Ok(if kept == all { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 /// How a day is played.
 #[derive(Args)]
 pub struct DayArgs {
@@ -148,6 +199,7 @@
 pub fn run(lab: Lab) -> Result<ExitCode, Failure> {
     match lab {
         Lab::Day(args) => play(&args),
+        Lab::Fleet(args) => fleet(&args),
         Lab::Judge { day, records } => {
             let day = read_day(&day)?;
             let config = script::fleet_config(&day.fleet).map_err(|p| wrong("fleet", &p))?;
--- a/crates/membership/tests/net/mod.rs
+++ b/crates/fleet-net/src/net.rs
@@ -1,10 +1,11 @@
 //! A net in memory on a given clock: members, delays, loss, cuts, stops, deaths. Everything drawn follows from one seed.
-#![allow(dead_code)] // Each test file uses its part.
 use crankpaddle_membership::{Change, Output, Peers, Settings, Standing, State};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
+/// A millisecond.
 pub const MS: u64 = 1_000_000;
+/// A second.
 pub const SECOND: u64 = 1000 * MS;
 /// What a process's socket holds while it stands still.
 const BACKLOG: usize = 200;
@@ -15,9 +16,13 @@
     Wake(usize),
 }
 
+/// A process of the fleet.
 pub struct Node {
+    /// Its state machine.
     pub peers: Peers,
+    /// Whether it runs.
     pub up: bool,
+    /// Whether it was stopped and stands still.
     pub stopped: bool,
     address: String,
     backlog: Vec<(usize, Vec<u8>)>,
@@ -27,15 +32,25 @@
 /// Whether a datagram from one to another gets through now.
 type Lets = Box<dyn Fn(usize, usize) -> bool>;
 
+/// The net and all that is on it.
 pub struct Net {
+    /// The given clock, nanoseconds.
     pub now: u64,
+    /// The processes, by number.
     pub nodes: Vec<Node>,
+    /// What members came to take others for: when, who, what.
     pub changes: Vec<(u64, usize, Change)>,
+    /// Their own standings.
     pub standings: Vec<(u64, usize, Standing)>,
+    /// Part of the datagrams that is lost.
     pub loss: f64,
+    /// Least and most time on the way.
     pub delay: (u64, u64),
+    /// Whether a datagram from one to another gets through now.
     pub lets: Lets,
+    /// Whether copies of all that is sent are kept.
     pub keep_copies: bool,
+    /// From, to, bytes.
     pub copies: Vec<(usize, usize, Vec<u8>)>,
     queue: BinaryHeap<Reverse<(u64, u64, Event)>>,
     count: u64,
@@ -43,10 +58,12 @@
     names: BTreeMap<String, usize>,
 }
 
+/// The name of the front of this number.
 pub fn name(i: usize) -> String {
     format!("front-{i}")
 }
 
+/// Settings of the front of this number, found by others at its name.
 pub fn settings(i: usize, seeds: &[usize]) -> Settings {
     Settings {
         name: name(i),
@@ -60,6 +77,7 @@
 }
 
 impl Net {
+    /// An empty net.
     pub fn new(seed: u64) -> Net {
         Net {
             now: 100 * SECOND,
@@ -148,6 +166,7 @@
         result
     }
 
+    /// Puts a datagram on its way.
     pub fn carry(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
         if (self.lets)(from, to) && self.rng.rand_float() >= self.loss {
             let late = (self.rng.rand_float() * (self.delay.1 - self.delay.0) as f64) as u64;
@@ -155,6 +174,7 @@
         }
     }
 
+    /// Goes on for a time.
     pub fn run(&mut self, time: u64) {
         let until = self.now + time;
         while self.queue.peek().is_some_and(|Reverse((at, ..))| *at <= until) {
@@ -189,10 +209,12 @@
         self.tell(to, |p, now, out| p.hear(now, &from, &bytes, out));
     }
 
+    /// Ends a process without a word.
     pub fn kill(&mut self, i: usize) {
         self.nodes[i].up = false;
     }
 
+    /// Stops a process; it stands still.
     pub fn stop(&mut self, i: usize) {
         self.nodes[i].stopped = true;
     }
@@ -206,6 +228,7 @@
         self.tell(i, |p, now, out| p.expire(now, out));
     }
 
+    /// What one takes another for.
     pub fn state(&self, at: usize, of: usize) -> Option<State> {
         self.nodes[at].peers.state_of(&name(of))
     }
--- a/crates/membership/src/peers.rs
+++ b/crates/membership/src/peers.rs
@@ -157,6 +157,10 @@
     me: Standpoint,
     started: u64,
     others: BTreeMap<String, Known>,
+    // Kept beside `others`, so that no datagram costs a look at all of them.
+    suspects: BTreeSet<String>,
+    alive: usize, // Alive and suspect.
+    gone: usize,
     board: Board,
     own_entries: BTreeSet<u8>,
     pending: BTreeSet<(u32, Item)>,
@@ -193,6 +197,9 @@
             me,
             started: now,
             others: BTreeMap::new(),
+            suspects: BTreeSet::new(),
+            alive: 0,
+            gone: 0,
             board: Board::default(),
             own_entries: BTreeSet::new(),
             pending: BTreeSet::new(),
@@ -225,7 +232,8 @@
             return u64::MAX;
         }
         let probe = self.probe.as_ref().map_or(self.probe_at, |p| p.next());
-        let suspects = self.others.values().filter_map(|k| Some(k.suspicion.as_ref()?.until()));
+        let suspicion = |name| self.others.get(name).and_then(|k| k.suspicion.as_ref());
+        let suspects = self.suspects.iter().filter_map(|name| Some(suspicion(name)?.until()));
         let helping = self.helping.values().map(|h| h.until);
         [probe, self.gossip_at, self.sync_at, self.rejoin_at]
             .into_iter()
@@ -272,12 +280,9 @@
     }
 
     fn stand(&mut self, now: u64, out: &mut Vec<Output>) {
-        let others =
-            self.others.values().filter(|k| k.at.state < State::Left && k.at.state != State::Gone).count();
-        let gone = self.others.values().any(|k| k.at.state == State::Gone);
-        let standing = match self.health.standing(now, others) {
+        let standing = match self.health.standing(now, self.alive) {
             _ if self.replaced => Standing::Replaced,
-            Standing::Alone if gone => Standing::CutOff,
+            Standing::Alone if self.gone > 0 => Standing::CutOff,
             standing => standing,
         };
         if standing != self.standing {
@@ -355,8 +360,12 @@
         }
     }
 
-    fn alive(&self) -> usize {
-        self.others.values().filter(|k| k.at.state <= State::Suspect).count()
+    /// A member's state becomes another one; `None`: it is not known.
+    fn counted(&mut self, before: Option<State>, after: Option<State>) {
+        let alive = |s: Option<State>| usize::from(s.is_some_and(|s| s <= State::Suspect));
+        let gone = |s: Option<State>| usize::from(s == Some(State::Gone));
+        self.alive = self.alive + alive(after) - alive(before);
+        self.gone = self.gone + gone(after) - gone(before);
     }
 
     /// Some members that may be asked, by chance, without one.
--- a/crates/membership/src/peers/hear.rs
+++ b/crates/membership/src/peers/hear.rs
@@ -131,7 +131,6 @@
         by: &str,
         out: &mut Vec<Output>,
     ) {
-        let (alive, every) = (self.alive(), self.settings.probe_every);
         let before = self.others.get(name).map(|k| k.at);
         match before {
             Some(before) if !at.is_later_than(&before) => {
@@ -150,7 +149,14 @@
         }
         let restarted = before.is_some_and(|b| !b.same_life(&at));
         let changed = before.is_none_or(|b| b.state != at.state) || restarted;
-        let suspicion = (at.state == State::Suspect).then(|| Suspicion::new(now, by, alive, every));
+        let every = self.settings.probe_every;
+        let suspicion = (at.state == State::Suspect).then(|| Suspicion::new(now, by, self.alive, every));
+        self.counted(before.map(|b| b.state), Some(at.state));
+        let _ = if suspicion.is_some() {
+            self.suspects.insert(name.to_owned())
+        } else {
+            self.suspects.remove(name)
+        };
         let known = self.others.entry(name.to_owned()).or_insert_with(|| Known {
             at,
             address: address.to_owned(),
--- a/crates/membership/src/peers/probe.rs
+++ b/crates/membership/src/peers/probe.rs
@@ -117,10 +117,11 @@
     }
 
     pub(super) fn suspicions(&mut self, now: u64, out: &mut Vec<Output>) {
-        let due = |(name, k): (&String, &Known)| {
-            k.suspicion.as_ref().filter(|s| now >= s.until()).map(|_| name.clone())
+        let due = |name: &&String| {
+            let suspicion = self.others.get(*name).and_then(|k| k.suspicion.as_ref());
+            suspicion.is_some_and(|s| now >= s.until())
         };
-        let due: Vec<String> = self.others.iter().filter_map(due).collect();
+        let due: Vec<String> = self.suspects.iter().filter(due).cloned().collect();
         let deaf = self.health.standing(now, 1) == Standing::CutOff;
         for name in due {
             if let Some(known) = self.others.get_mut(&name) {
--- a/crates/membership/src/peers/spread.rs
+++ b/crates/membership/src/peers/spread.rs
@@ -150,7 +150,14 @@
     /// nobody would ever ask again. The datagram tells the other what it is taken for, and it refutes.
     pub(super) fn rejoin(&mut self, now: u64, out: &mut Vec<Output>) {
         self.rejoin_at = now.saturating_add(REJOIN);
-        self.others.retain(|_, k| k.at.state < State::Gone || now.saturating_sub(k.since) < FORGET);
+        let old = |k: &Known| k.at.state >= State::Gone && now.saturating_sub(k.since) >= FORGET;
+        let old: Vec<String> =
+            self.others.iter().filter(|(_, k)| old(k)).map(|(name, _)| name.clone()).collect();
+        for name in old {
+            let forgotten = self.others.remove(&name);
+            self.counted(forgotten.map(|k| k.at.state), None);
+            self.board.forget(&name);
+        }
         let gone: Vec<String> =
             self.others.iter().filter(|(_, k)| k.at.state == State::Gone).map(|(n, _)| n.clone()).collect();
         self.seq = self.seq.wrapping_add(1);
--- a/crates/membership/tests/fleet.rs
+++ b/crates/membership/tests/fleet.rs
@@ -1,7 +1,6 @@
 //! Fleets on a net in memory: deaths, partitions, loss, stops, restarts. Each bound stated in `docs/fleet.md` is held here.
-mod net;
+use crankpaddle_fleet_net::*;
 use crankpaddle_membership::{Settings, Standing, State};
-use net::*;
 
 fn all(n: usize) -> Vec<usize> {
     (0..n).collect()
