--- a/crates/node/src/hub/said.rs
+++ b/crates/node/src/hub/said.rs
@@ -84,7 +84,8 @@
         if let Some((outcome, last)) = self.release_behind(server, message.session) {
             self.tell_core(Input::Over(attempt, outcome, last));
             self.tell_core(Input::SetUp(attempt, SetUp::Started(report)));
-            return drop(self.drop_live(attempt));
+            self.drop_live(attempt);
+            return;
         }
         let Some(live) = self.live.get_mut(&attempt) else { return };
         live.answered = true;
