--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -1,6 +1,6 @@
 //! From text to a checked configuration: structure first, then every value.
 use crate::schema;
-use crate::{Config, Limits, Title, DEFAULTS, DESCRIPTORS};
+use crate::{Config, Limits, Peers, Title, DEFAULTS, DESCRIPTORS};
 use crankpaddle::{Class, Effect, Group, Settings};
 use crankpaddle_front::Terms;
 use crankpaddle_textproto::{Checks, Problem, Unit};
@@ -162,6 +162,7 @@
         }
         let (titles, groups) = self.titles(&raw.title, cells);
         let budgets = self.budgets(&raw.budget, &zones, &classes, zone);
+        let peers = self.peers(&raw.peers);
         let log_level = log.level().to_owned();
         let levels = ["error", "warn", "info", "debug", "trace"];
         self.must(
@@ -197,6 +198,7 @@
             budgets,
             traffic_file: (!front.traffic_file.is_empty()).then(|| front.traffic_file.into()),
             titles,
+            peers,
             log_level,
             log_json: log.form() != "human",
         }
@@ -312,6 +314,40 @@
         all
     }
 
+    fn peers(&mut self, peers: &[schema::Peers]) -> Option<Peers> {
+        self.must(peers.len() <= 1, "peers[1]", "peers stand once");
+        let peers = peers.first()?;
+        let path = |field: &str| format!("peers[0].{field}");
+        let named =
+            !peers.name.is_empty() && peers.name.len() <= 64 && !peers.name.contains(char::is_whitespace);
+        self.must(named, &path("name"), "a name of 1 to 64 bytes without spaces is wanted");
+        self.must(!peers.key_file.is_empty(), &path("key_file"), "is missing: a file of 32 hex digits");
+        let seeds = peers.seed.iter().enumerate();
+        let seeds = seeds.map(|(i, seed)| self.address(&format!("peers[0].seed[{i}]"), seed)).collect();
+        let names = peers.way.iter().map(|w| w.name.as_str()).collect::<Vec<_>>();
+        let names = self.names("peers[0].way", ".name", &names);
+        let ways = peers.way.iter().enumerate();
+        let ways = ways.map(|(i, way)| self.address(&format!("peers[0].way[{i}].address"), &way.address));
+        let ways: Vec<_> = ways.collect();
+        let probe_every = self.time(&path("probe_every"), peers.probe_every());
+        self.must(
+            probe_every >= 20_000_000,
+            &path("probe_every"),
+            "is under 20 ms: nobody could answer in time",
+        );
+        Some(Peers {
+            name: peers.name.clone(),
+            listen: self.address(&path("listen"), &peers.listen),
+            address: (!peers.address.is_empty()).then(|| self.address(&path("address"), &peers.address)),
+            seeds,
+            key_file: peers.key_file.clone().into(),
+            datagrams: self.count(&path("datagrams"), peers.datagrams(), 10, 100_000),
+            bytes: (self.rate(&path("bytes"), peers.bytes()) * 1000.0) as usize,
+            probe_every,
+            ways: names.into_iter().zip(ways).collect(),
+        })
+    }
+
     fn titles(&mut self, titles: &[schema::Title], cells: u32) -> (HashMap<String, Title>, Vec<String>) {
         self.names("title", ".name", &titles.iter().map(|t| t.name.as_str()).collect::<Vec<_>>());
         let mut all = HashMap::new();
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -64,9 +64,34 @@
     pub drain: u64,
 }
 
+/// How a front finds the other fronts and is found.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peers {
+    /// Its name among them.
+    pub name: String,
+    /// Where it hears them.
+    pub listen: SocketAddr,
+    /// Where they reach it; `None`: where it listens.
+    pub address: Option<SocketAddr>,
+    /// Where some of them may be found at first.
+    pub seeds: Vec<SocketAddr>,
+    /// The file of the fleet's key.
+    pub key_file: PathBuf,
+    /// Datagrams that go out in a second at most.
+    pub datagrams: u32,
+    /// Bytes that go out in a second at most.
+    pub bytes: usize,
+    /// Time between two probes, nanoseconds.
+    pub probe_every: u64,
+    /// Where this front reaches others, if not where they say, by name.
+    pub ways: HashMap<String, SocketAddr>,
+}
+
 /// A checked configuration.
 #[derive(Clone, Debug)]
 pub struct Config {
+    /// The other fronts; `None`: this one talks to none.
+    pub peers: Option<Peers>,
     /// The decision module's settings.
     pub settings: Settings,
     /// The core's terms.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`links`]: for each server the stream of its notes and the queue of its rung changes and teardowns;
 //! - [`contact`]: what the stream's words and silence say of the sessions there, pure;
 //! - [`directory`]: the list service and the list's copy on disk;
+//! - [`peers`]: the other fronts, over UDP;
 //! - [`traffic`]: what crosses between halls; [`keeper`]: what is kept on disk.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -19,6 +20,7 @@
 mod keeper;
 mod links;
 mod names;
+mod peers;
 mod player;
 mod players;
 mod pool;
@@ -40,6 +42,7 @@
     shared: Arc<Shared>,
     stopped: Arc<AtomicBool>,
     done: Mutex<mpsc::Receiver<Vec<JoinHandle<()>>>>,
+    peers: Option<peers::Link>,
 }
 
 impl Daemon {
@@ -52,6 +55,7 @@
         let address = listener.local_addr()?;
         let cached = directory::cached(&config)?;
         let kept = traffic::kept(&config)?;
+        let peers = config.peers.as_ref().map(peers::start).transpose()?;
         let (shared, inbox) = Shared::new(config);
         let (finished, done) = mpsc::channel();
         let stopped = Arc::new(AtomicBool::new(false));
@@ -65,7 +69,7 @@
         let of_players = shared.clone();
         accept_each(listener, stopped.clone(), move |socket| players::serve(socket, &of_players));
         tracing::info!(%address, "listening");
-        Ok(Daemon { address, shared, stopped, done: Mutex::new(done) })
+        Ok(Daemon { address, shared, stopped, done: Mutex::new(done), peers })
     }
 
     /// Where it listens.
@@ -94,6 +98,7 @@
     /// Waits for the end that [`Daemon::drain`] brings. Call on a thread, not in a coroutine.
     pub fn wait(&self) {
         let writers = self.done.lock().unwrap_or_else(PoisonError::into_inner).recv();
+        self.peers.iter().for_each(peers::Link::leave);
         // What was to be kept is on disk before the process ends; a writer that panicked has said so.
         writers.into_iter().flatten().for_each(|writer| drop(writer.join()));
         self.stopped.store(true, Ordering::Release);
--- /dev/null
+++ b/crates/daemon/src/peers.rs
@@ -0,0 +1,205 @@
+//! The other fronts, over UDP: one coroutine reads, one owns the state machine and sends.
+//!
+//! The hub knows nothing of it: no set-up waits behind a peer's datagram. Where a datagram can't be sent at once it is dropped;
+//! the state machine bears loss.
+use crankpaddle_config::Peers as Wanted;
+use crankpaddle_membership::{Output, Peers, Settings, Standing, State};
+use crankpaddle_net::{clock, recv_until, spawn, take, Stack};
+use may::net::UdpSocket;
+use may::sync::mpsc::{channel, Receiver, Sender};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Datagrams taken before timers are looked at.
+const BATCH: usize = 64;
+/// A socket that can't be read is tried again after this time.
+const PAUSE: Duration = Duration::from_millis(20);
+/// Bytes of a datagram that are read; one that is longer is none of ours.
+const LONGEST: usize = 2048;
+/// At the end the last words get so long.
+const LAST_WORDS: Duration = Duration::from_millis(500);
+
+enum Word {
+    Heard(SocketAddr, Vec<u8>),
+    Leave(std::sync::mpsc::Sender<()>),
+}
+
+/// The way to the coroutine that owns the members.
+pub(crate) struct Link(Sender<Word>);
+
+impl Link {
+    /// Says to the others that this front leaves. Call on a thread, not in a coroutine.
+    pub fn leave(&self) {
+        let (done, left) = std::sync::mpsc::channel();
+        if self.0.send(Word::Leave(done)).is_ok() {
+            let _ = left.recv_timeout(LAST_WORDS); // They find out by themselves, later.
+        }
+    }
+}
+
+fn wrong(path: &Path, what: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, format!("{}: {what}", path.display()))
+}
+
+/// The fleet's key: 32 hex digits.
+fn key(path: &Path) -> io::Result<[u8; 16]> {
+    let text = std::fs::read_to_string(path).map_err(|e| wrong(path, &e.to_string()))?;
+    let digits = text.trim();
+    if digits.len() != 32 || !digits.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return Err(wrong(path, "is no key: 32 hex digits are wanted"));
+    }
+    let number = u128::from_str_radix(digits, 16).map_err(|e| wrong(path, &e.to_string()))?;
+    Ok(number.to_be_bytes())
+}
+
+/// Takes part in the fleet.
+///
+/// # Errors
+/// The key can't be read, or the address can't be listened on.
+pub(crate) fn start(wanted: &Wanted) -> io::Result<Link> {
+    let key = key(&wanted.key_file)?;
+    let named = |e: io::Error| io::Error::new(e.kind(), format!("peers: {}: {e}", wanted.listen));
+    let socket = Arc::new(UdpSocket::bind(wanted.listen).map_err(named)?);
+    let own = wanted.address.unwrap_or(socket.local_addr()?);
+    let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+    let settings = Settings {
+        name: wanted.name.clone(),
+        address: own.to_string(),
+        epoch: epoch.as_millis() as u64,
+        life: rand::random(),
+        key,
+        seeds: wanted.seeds.iter().map(SocketAddr::to_string).collect(),
+        probe_every: wanted.probe_every,
+        answer_within: wanted.probe_every * 2 / 5,
+        datagrams: f64::from(wanted.datagrams),
+        bytes: wanted.bytes as f64,
+        ..Settings::default()
+    };
+    tracing::info!(name = wanted.name, address = %own, seeds = ?settings.seeds, "peers");
+    let (tell, inbox) = channel();
+    let (reads, heard) = (socket.clone(), tell.clone());
+    spawn(Stack::Usual, move || read(&reads, &heard));
+    let ways = wanted.ways.clone();
+    let peers = Peers::new(settings, rand::random(), clock::now());
+    spawn(Stack::Large, move || Rim { peers, socket, ways, out: Vec::new() }.run(&inbox));
+    Ok(Link(tell))
+}
+
+fn read(socket: &UdpSocket, heard: &Sender<Word>) {
+    let mut bytes = [0u8; LONGEST];
+    loop {
+        match socket.recv_from(&mut bytes) {
+            Ok((n, from)) => {
+                if heard.send(Word::Heard(from, bytes[..n].to_vec())).is_err() {
+                    return;
+                }
+            }
+            // A peer that is not there may be told of here; that says nothing of the socket.
+            Err(_) => crankpaddle_net::sleep(PAUSE),
+        }
+    }
+}
+
+struct Rim {
+    peers: Peers,
+    socket: Arc<UdpSocket>,
+    ways: HashMap<String, SocketAddr>,
+    out: Vec<Output>,
+}
+
+impl Rim {
+    fn run(mut self, inbox: &Receiver<Word>) {
+        loop {
+            let (now, due) = (clock::now(), self.peers.next());
+            if due > now {
+                match recv_until(inbox, due) {
+                    Ok(word) => {
+                        if self.word(word) {
+                            return;
+                        }
+                    }
+                    Err(std::sync::mpsc::RecvTimeoutError::Timeout) => {}
+                    Err(std::sync::mpsc::RecvTimeoutError::Disconnected) => return,
+                }
+            }
+            let mut words = Vec::new();
+            take(inbox, BATCH, |word| words.push(word));
+            if words.into_iter().any(|word| self.word(word)) {
+                return;
+            }
+            self.peers.expire(clock::now(), &mut self.out);
+            self.carry_out();
+        }
+    }
+
+    /// True if all is over.
+    fn word(&mut self, word: Word) -> bool {
+        match word {
+            Word::Heard(from, bytes) => {
+                self.peers.hear(clock::now(), &from.to_string(), &bytes, &mut self.out);
+                self.carry_out();
+                false
+            }
+            Word::Leave(done) => {
+                self.peers.leave(clock::now(), &mut self.out);
+                self.carry_out();
+                let _ = done.send(()); // Whoever asked may not wait any more.
+                true
+            }
+        }
+    }
+
+    fn carry_out(&mut self) {
+        for output in self.out.drain(..) {
+            match output {
+                Output::Send { name, address, bytes } => {
+                    // The front's own book goes before what the other says of itself.
+                    let way = self.ways.get(&name).copied().or_else(|| address.parse().ok());
+                    if let Some(way) = way {
+                        // What can't go out at once is lost, as on any net.
+                        let _ = self.socket.inner().send_to(&bytes, way);
+                    }
+                }
+                Output::Change(c) => match c.state {
+                    State::Alive | State::Left => {
+                        tracing::info!(member = c.name, state = ?c.state, by = c.by, restarted = c.restarted, "member")
+                    }
+                    State::Suspect | State::Gone => {
+                        tracing::warn!(member = c.name, state = ?c.state, by = c.by, "member")
+                    }
+                },
+                Output::Standing(Standing::Replaced) => {
+                    tracing::error!(
+                        "another process has this front's name among its peers; it is silent from now on"
+                    )
+                }
+                Output::Standing(standing) => tracing::info!(?standing, "own standing"),
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_key_is_32_hex_digits_and_nothing_else() {
+        let dir = std::env::temp_dir().join(format!("crankpaddle-key-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).unwrap();
+        let path = dir.join("key");
+        let read = |text: &str| {
+            std::fs::write(&path, text).unwrap();
+            key(&path)
+        };
+        assert_eq!(read("000102030405060708090a0b0c0d0e0f\n").unwrap(), std::array::from_fn(|i| i as u8));
+        for bad in ["", "0001", "+0102030405060708090a0b0c0d0e0f0", "zz0102030405060708090a0b0c0d0e0f"] {
+            assert!(read(bad).unwrap_err().to_string().contains("32 hex digits"), "{bad}");
+        }
+        assert!(key(&dir.join("absent")).is_err());
+    }
+}
--- a/crates/fleet-net/src/net.rs
+++ b/crates/fleet-net/src/net.rs
@@ -151,7 +151,7 @@
         let result = what(&mut self.nodes[i].peers, self.now, &mut out);
         for output in out {
             match output {
-                Output::Send(to, bytes) => {
+                Output::Send { address: to, bytes, .. } => {
                     let Some(to) = self.names.get(&to).copied() else { continue };
                     if self.keep_copies {
                         self.copies.push((i, to, bytes.clone()));
--- a/crates/membership/src/peers.rs
+++ b/crates/membership/src/peers.rs
@@ -15,8 +15,6 @@
 
 const MILLISECOND: u64 = 1_000_000;
 const SECOND: u64 = 1000 * MILLISECOND;
-/// A timer later than this tells that we stood still.
-const STALL: u64 = 500 * MILLISECOND;
 /// For so long after a start another process under our name is taken for a former life of ours.
 const SETTLED: u64 = 10 * SECOND;
 /// Conflicts over our name after which the other process has it ...
@@ -87,8 +85,15 @@
 /// What is to be done, in order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Output {
-    /// Send a datagram to an address.
-    Send(String, Vec<u8>),
+    /// Send a datagram.
+    Send {
+        /// To whom; empty where that is not known yet.
+        name: String,
+        /// Where it says that it is reached.
+        address: String,
+        /// What.
+        bytes: Vec<u8>,
+    },
     /// A member changed.
     Change(Change),
     /// Our own standing changed.
@@ -248,7 +253,8 @@
             return;
         }
         let due = self.next();
-        if now > due.saturating_add(STALL) {
+        // A timer late by half a round tells that we stood still.
+        if now > due.saturating_add(self.settings.probe_every / 2) {
             self.stood_still(now, now - due);
         }
         self.probes(now, out);
--- a/crates/membership/src/peers/spread.rs
+++ b/crates/membership/src/peers/spread.rs
@@ -98,7 +98,7 @@
             }
         }
         self.counters.sent = (self.counters.sent.0 + 1, self.counters.sent.1 + bytes.len() as u64);
-        out.push(Output::Send(address.to_owned(), bytes));
+        out.push(Output::Send { name: name.to_owned(), address: address.to_owned(), bytes });
         true
     }
 
