--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -208,8 +208,8 @@
     erlang_b_each(&[(offered, slots)])[0]
 }
 
-/// The same for several queues at once, each its offered load and slots: turned over (1 + n / offered times the
-/// one before) no slot takes a division, and a processor works on one queue's sum while it waits for another's.
+/// The same for several queues at once, each its offered load and slots. Turned over (1 + n / offered times
+/// the one before) no slot takes a division, and sums side by side do not wait for each other.
 fn erlang_b_each(queues: &[(f64, u32)]) -> Vec<f64> {
     let mut blocked = Vec::with_capacity(queues.len());
     for some in queues.chunks(LANES) {
