--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -14,6 +14,8 @@
 #![warn(missing_docs)]
 mod board;
 mod budget;
+#[cfg(test)]
+mod check;
 mod news;
 mod peers;
 mod standing;
--- a/crates/membership/src/peers.rs
+++ b/crates/membership/src/peers.rs
@@ -146,6 +146,7 @@
     pub accused: u64,
 }
 
+#[derive(Clone)]
 pub(crate) struct Known {
     at: Standpoint,
     address: String,
@@ -156,7 +157,8 @@
     answers: Budget, // For what it asks.
 }
 
-/// The state machine. Times are nanoseconds of a monotonic clock.
+/// The state machine; a copy goes on from where it is. Times are nanoseconds of a monotonic clock.
+#[derive(Clone)]
 pub struct Peers {
     settings: Settings,
     me: Standpoint,
--- a/crates/membership/src/peers/probe.rs
+++ b/crates/membership/src/peers/probe.rs
@@ -5,6 +5,7 @@
 /// A helper gives up after this many times the time for an answer.
 const HELP: u64 = 1;
 
+#[derive(Clone)]
 pub(crate) struct Probe {
     pub target: String,
     pub seq: u32,
@@ -27,6 +28,7 @@
 }
 
 /// A probe made for another.
+#[derive(Clone)]
 pub(crate) struct Help {
     pub name: String,
     pub seq: u32,
--- a/crates/membership/src/peers/spread.rs
+++ b/crates/membership/src/peers/spread.rs
@@ -187,3 +187,34 @@
         }
     }
 }
+
+/// For the model's check.
+#[cfg(test)]
+impl Peers {
+    pub(crate) fn standpoint_of(&self, name: &str) -> Option<Standpoint> {
+        if name == self.settings.name {
+            Some(self.me)
+        } else {
+            self.others.get(name).map(|k| k.at)
+        }
+    }
+
+    /// A datagram with all that is known here.
+    pub(crate) fn all_it_knows(&self, to: &str) -> Vec<u8> {
+        let (from, address) = (self.settings.name.clone(), self.settings.address.clone());
+        let head = Head { from, address, at: self.me, to: to.to_owned() };
+        let mut builder = Builder::new(&head, &Body::Gossip);
+        for name in self.others.keys() {
+            assert!(self.news_of(name).is_some_and(|news| builder.news(&news)), "it fits");
+        }
+        builder.finish(&self.settings.key)
+    }
+
+    pub(crate) fn accuse(&mut self, name: &str, state: State) {
+        if let Some(known) = self.others.get(name).filter(|k| k.at.state < state) {
+            let (at, address) = (Standpoint { state, ..known.at }, known.address.clone());
+            let by = self.settings.name.clone();
+            self.learn(0, name, &address, at, &by, &mut Vec::new());
+        }
+    }
+}
