crankpaddle members and GET /members: what a front knows of the others, described and held

Operators must see whom a front takes for alive, gone or left, since when, by whose word, and how it stands itself. The front tells it over HTTP beside /traffic; the command prints a table or JSON. The schema is made from the types, published in api/openapi.json, and the run over sockets exchanges it: a front with peers, one that is alone, one without (404). The reading of /traffic and /members from a front is one function.

--- a/crates/api/src/describe.rs
+++ b/crates/api/src/describe.rs
@@ -66,6 +66,73 @@
     pub connections: u64,
 }
 
+/// A front as another one sees it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[schemars(deny_unknown_fields)]
+pub struct Peer {
+    /// Its name among the fronts.
+    pub name: String,
+    /// Where it says that it is reached.
+    pub address: String,
+    /// What it is taken for.
+    pub state: PeerState,
+    /// Since how many milliseconds.
+    pub since_ms: u64,
+    /// Who found it so.
+    pub by: String,
+    /// How long its last answer took, microseconds; absent: it was not asked yet.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rtt_us: Option<u64>,
+}
+
+/// What a front is taken for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum PeerState {
+    /// It answers.
+    Alive,
+    /// It did not answer somebody, and may refute that.
+    Suspect,
+    /// It did not refute in time.
+    Gone,
+    /// It said that it leaves.
+    Left,
+}
+
+/// How a front stands with the others, as it sees itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum OwnStanding {
+    /// There is nobody to hear.
+    Alone,
+    /// It hears whom it asks.
+    Connected,
+    /// Its timers were late, or half of those it asked did not answer.
+    Doubtful,
+    /// It hears nobody.
+    CutOff,
+    /// Another process has its name.
+    Replaced,
+}
+
+/// What a front knows of the others.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[schemars(deny_unknown_fields)]
+pub struct Members {
+    /// Its own name.
+    pub name: String,
+    /// Its own standing.
+    pub standing: OwnStanding,
+    /// The others, by name.
+    pub members: Vec<Peer>,
+    /// Datagrams sent, heard, and dropped for any reason, since its start.
+    pub sent: u64,
+    /// See `sent`.
+    pub heard: u64,
+    /// See `sent`.
+    pub dropped: u64,
+}
+
 /// Whether a front takes players.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
@@ -240,6 +307,7 @@
 pub fn openapi() -> Value {
     let mut g = generator();
     let (health, traffic, problem) = (plain::<Health>(), schema::<Report>(&mut g), plain::<Problem>());
+    let members = schema::<Members>(&mut g);
     let body = |what: &str, media: &str, schema: &Value| json!({"description": what, "content": {media: {"schema": schema}}});
     // Each answer as it is: its own status, and advice only where there is some.
     let refusal = |status: u16, what: &str| {
@@ -272,6 +340,14 @@
                 "503": refusal(503, "The front has more to do than to report."),
             },
         }},
+        "/members": {"get": {
+            "summary": "The other fronts, as this one sees them.",
+            "responses": {
+                "200": body("What it knows of them.", "application/json", &members),
+                "404": refusal(404, "It has no peers in its configuration."),
+                "503": refusal(503, "The front has more to do than to tell."),
+            },
+        }},
         "/session": {"get": {
             "summary": "The opening handshake of WebSocket; what goes over it is described by AsyncAPI.",
             "responses": {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod front;
 mod lab;
 mod logs;
+mod members;
 mod node;
 mod running;
 mod traffic;
@@ -66,6 +67,15 @@
     /// Descriptions of the session API: write them, compare them, hold traffic against them.
     #[command(subcommand)]
     Api(api::Api),
+    /// The other fronts as a front that runs sees them: state, since when, who said so; its own standing.
+    #[command(after_help = "Example:\n  crankpaddle members 127.0.0.1:7400 --json")]
+    Members {
+        /// Where the front listens for players.
+        front: std::net::SocketAddr,
+        /// As JSON.
+        #[arg(long)]
+        json: bool,
+    },
     /// Traffic between halls: reports and a live view.
     #[command(subcommand)]
     Traffic(traffic::Traffic),
@@ -87,6 +97,7 @@
             crankpaddle_config::filled(&file).map(show).map(|()| ExitCode::SUCCESS).map_err(bad_file)
         }
         Command::Api(api) => api::run(api),
+        Command::Members { front, json } => members::run(&front, json),
         Command::Traffic(traffic) => traffic::run(traffic),
         Command::Lab(lab) => lab::run(lab),
     };
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -21,6 +21,7 @@
 }
 
 struct Front {
+    address: String,
     child: Child,
     log: Receiver<String>,
 }
@@ -44,7 +45,8 @@
         let (tell, log) = channel();
         let err = BufReader::new(child.stderr.take().unwrap());
         std::thread::spawn(move || err.lines().map_while(Result::ok).for_each(|line| drop(tell.send(line))));
-        let front = Front { child, log };
+        let address = line.trim().trim_start_matches("listening ").to_owned();
+        let front = Front { address, child, log };
         assert!(line.starts_with("listening "), "{line}{:?}", front.log.try_iter().collect::<Vec<_>>());
         front
     }
@@ -190,6 +192,17 @@
     assert!(said.is_empty(), "who stood still accused others: {said:?}");
     assert!(!["a", "c", "d"].iter().any(|name| observer.accused(name, since)), "{:?}", observer.changes);
 
+    // What operators see.
+    let out = Command::new(env!("CARGO_BIN_EXE_crankpaddle"))
+        .args(["members", &fronts[0].address])
+        .output()
+        .unwrap();
+    let told = String::from_utf8(out.stdout).unwrap();
+    assert!(
+        told.starts_with("a: Connected") && told.lines().any(|l| l.starts_with("d ") && l.contains("alive")),
+        "{told}"
+    );
+
     // Ended in order: it says so.
     fronts[2].signal(Signal::TERM);
     observer.until("c has left", |o| o.sees("c", State::Left));
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -42,7 +42,6 @@
     shared: Arc<Shared>,
     stopped: Arc<AtomicBool>,
     done: Mutex<mpsc::Receiver<Vec<JoinHandle<()>>>>,
-    peers: Option<peers::Link>,
 }
 
 impl Daemon {
@@ -56,7 +55,7 @@
         let cached = directory::cached(&config)?;
         let kept = traffic::kept(&config)?;
         let peers = config.peers.as_ref().map(peers::start).transpose()?;
-        let (shared, inbox) = Shared::new(config);
+        let (shared, inbox) = Shared::new(config, peers);
         let (finished, done) = mpsc::channel();
         let stopped = Arc::new(AtomicBool::new(false));
         let hub = hub::Hub::new(shared.clone(), cached, kept.as_ref());
@@ -69,7 +68,7 @@
         let of_players = shared.clone();
         accept_each(listener, stopped.clone(), move |socket| players::serve(socket, &of_players));
         tracing::info!(%address, "listening");
-        Ok(Daemon { address, shared, stopped, done: Mutex::new(done), peers })
+        Ok(Daemon { address, shared, stopped, done: Mutex::new(done) })
     }
 
     /// Where it listens.
@@ -98,7 +97,7 @@
     /// Waits for the end that [`Daemon::drain`] brings. Call on a thread, not in a coroutine.
     pub fn wait(&self) {
         let writers = self.done.lock().unwrap_or_else(PoisonError::into_inner).recv();
-        self.peers.iter().for_each(peers::Link::leave);
+        self.shared.peers.iter().for_each(peers::Link::leave);
         // What was to be kept is on disk before the process ends; a writer that panicked has said so.
         writers.into_iter().flatten().for_each(|writer| drop(writer.join()));
         self.stopped.store(true, Ordering::Release);
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -2,6 +2,7 @@
 //!
 //! The hub knows nothing of it: no set-up waits behind a peer's datagram. Where a datagram can't be sent at once it is dropped;
 //! the state machine bears loss.
+use crankpaddle_api::describe::{Members, OwnStanding, Peer, PeerState};
 use crankpaddle_config::Peers as Wanted;
 use crankpaddle_membership::{Output, Peers, Settings, Standing, State};
 use crankpaddle_net::{clock, recv_until, spawn, take, Stack};
@@ -26,12 +27,21 @@
 enum Word {
     Heard(SocketAddr, Vec<u8>),
     Leave(std::sync::mpsc::Sender<()>),
+    Tell(Sender<Members>),
 }
 
 /// The way to the coroutine that owns the members.
+#[derive(Clone)]
 pub(crate) struct Link(Sender<Word>);
 
 impl Link {
+    /// What is known of the others; `None` if it is not told in time. Call in a coroutine.
+    pub fn members(&self, until: u64) -> Option<Members> {
+        let (tell, told) = channel();
+        self.0.send(Word::Tell(tell)).ok()?;
+        recv_until(&told, until).ok()
+    }
+
     /// Says to the others that this front leaves. Call on a thread, not in a coroutine.
     pub fn leave(&self) {
         let (done, left) = std::sync::mpsc::channel();
@@ -144,6 +154,10 @@
                 self.carry_out();
                 false
             }
+            Word::Tell(tell) => {
+                let _ = tell.send(self.members()); // Who asked may be gone.
+                false
+            }
             Word::Leave(done) => {
                 self.peers.leave(clock::now(), &mut self.out);
                 self.carry_out();
@@ -153,6 +167,37 @@
         }
     }
 
+    fn members(&self) -> Members {
+        let (now, counters) = (clock::now(), self.peers.counters());
+        let peer = |m: crankpaddle_membership::Member| Peer {
+            name: m.name,
+            address: m.address,
+            state: match m.state {
+                State::Alive => PeerState::Alive,
+                State::Suspect => PeerState::Suspect,
+                State::Gone => PeerState::Gone,
+                State::Left => PeerState::Left,
+            },
+            since_ms: now.saturating_sub(m.since) / 1_000_000,
+            by: m.by,
+            rtt_us: m.rtt.map(|rtt| rtt / 1000),
+        };
+        Members {
+            name: self.peers.name().to_owned(),
+            standing: match self.peers.standing() {
+                Standing::Alone => OwnStanding::Alone,
+                Standing::Connected => OwnStanding::Connected,
+                Standing::Doubtful => OwnStanding::Doubtful,
+                Standing::CutOff => OwnStanding::CutOff,
+                Standing::Replaced => OwnStanding::Replaced,
+            },
+            members: self.peers.members().into_iter().map(peer).collect(),
+            sent: counters.sent.0,
+            heard: counters.heard,
+            dropped: counters.dropped(),
+        }
+    }
+
     fn carry_out(&mut self) {
         for output in self.out.drain(..) {
             match output {
--- a/crates/daemon/src/players.rs
+++ b/crates/daemon/src/players.rs
@@ -199,6 +199,17 @@
                 Err(_) => problem(503, "the front has more to do than to report", &[]),
             }
         }
+        ("GET", "/members") => match &shared.peers {
+            None => problem(404, "this front has no peers in its configuration", &[]),
+            Some(peers) => match peers.members(clock::now().saturating_add(REPORT_WITHIN)) {
+                Some(members) => {
+                    let body = serde_json::to_string(&members).unwrap_or_default();
+                    let fields = [("content-type", "application/json"), connection];
+                    head::response(200, &fields, body.as_bytes())
+                }
+                None => problem(503, "the front has more to do than to tell", &[]),
+            },
+        },
         ("GET", path) if description(path).is_some() => {
             let (media, text) = description(path).unwrap_or_default();
             head::response(200, &[("content-type", media), connection], text.as_bytes())
@@ -208,12 +219,17 @@
             "this is spoken over WebSocket",
             &[("upgrade", "websocket"), ("sec-websocket-version", "13")],
         ),
-        (_, path) if ["/health", "/session", "/traffic"].contains(&path) || description(path).is_some() => {
+        (_, path)
+            if ["/health", "/members", "/session", "/traffic"].contains(&path)
+                || description(path).is_some() =>
+        {
             problem(405, "only GET is known here", &[("allow", "GET")])
         }
-        (_, path) => {
-            problem(404, &format!("nothing at {path}; known: /api, /health, /session, /traffic"), &[])
-        }
+        (_, path) => problem(
+            404,
+            &format!("nothing at {path}; known: /api, /health, /members, /session, /traffic"),
+            &[],
+        ),
     }
 }
 
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -50,6 +50,8 @@
 
 pub(crate) struct Shared {
     pub config: Config,
+    /// The other fronts, where there are any.
+    pub peers: Option<crate::peers::Link>,
     pub names: Names,
     pub pool: Pool,
     /// Looks often: attempts and streams.
@@ -69,9 +71,10 @@
 }
 
 impl Shared {
-    pub fn new(config: Config) -> (Arc<Shared>, mpsc::Receiver<Msg>) {
+    pub fn new(config: Config, peers: Option<crate::peers::Link>) -> (Arc<Shared>, mpsc::Receiver<Msg>) {
         let (inbox, receiver) = mpsc::channel();
         let shared = Shared {
+            peers,
             names: Names::new(),
             pool: Pool::default(),
             quick: Sweeper::start(Duration::from_millis(50)),
--- a/crates/daemon/tests/described.rs
+++ b/crates/daemon/tests/described.rs
@@ -3,12 +3,14 @@
 mod rig;
 use crankpaddle_api::conform::{Checker, Exception, Exchange};
 use crankpaddle_lab::list_service::{entry, State};
+use crankpaddle_membership::{Output, Peers, Settings};
 use crankpaddle_session_api::Version;
 use rig::{wait, Rig, FREE, LONG, PAID};
 use serde_json::{json, Value};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 use tungstenite::client::IntoClientRequest;
 use tungstenite::{Message, WebSocket};
 
@@ -225,6 +227,7 @@
     let mut stream = TcpStream::connect(server).unwrap();
     write!(stream, "GET /{path} HTTP/1.1\r\nhost: a\r\n\r\n").unwrap();
     let address = rig.daemon.address();
+    assert_eq!(tape.get(address, "/members"), 404, "it has no peers");
     wait("its bytes to be told", || {
         tape.get(address, "/traffic");
         let last = tape.0.lock().unwrap().last().cloned();
@@ -232,10 +235,58 @@
     });
 }
 
+/// A member of the fleet that the test plays for as long as it runs; where it is found.
+fn member() -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_read_timeout(Some(Duration::from_millis(5))).unwrap();
+    let address = socket.local_addr().unwrap();
+    let settings = Settings {
+        name: "played".into(),
+        address: address.to_string(),
+        epoch: 1,
+        life: 1,
+        key: 0x0011_2233_4455_6677_8899_aabb_ccdd_eeff_u128.to_be_bytes(),
+        probe_every: 100_000_000,
+        answer_within: 40_000_000,
+        ..Settings::default()
+    };
+    std::thread::spawn(move || {
+        let (mut peers, begun) = (Peers::new(settings, 1, 0), Instant::now());
+        loop {
+            let (mut out, mut bytes) = (Vec::new(), [0u8; 2048]);
+            if let Ok((n, from)) = socket.recv_from(&mut bytes) {
+                peers.hear(begun.elapsed().as_nanos() as u64, &from.to_string(), &bytes[..n], &mut out);
+            }
+            peers.expire(begun.elapsed().as_nanos() as u64, &mut out);
+            for output in out {
+                if let Output::Send { address, bytes, .. } = output {
+                    let _ = socket.send_to(&bytes, address); // What is lost is asked for again.
+                }
+            }
+        }
+    });
+    address
+}
+
 /// HTTP, and how a front ends.
 fn http_and_end(version: Version, tape: &Tape) {
-    let rig = rig(&[("connections: 8000", "connections: 3")]);
+    let key = std::env::temp_dir().join(format!("crankpaddle-described-{}-{version:?}", std::process::id()));
+    std::fs::write(&key, "00112233445566778899aabbccddeeff").unwrap();
+    let lonely = format!("peers {{ name: \"b\" listen: \"127.0.0.1:0\" key_file: {key:?} }}\nlog {{");
+    let lonely = rig(&[("log {", &lonely)]);
+    assert_eq!(tape.get(lonely.daemon.address(), "/members"), 200);
+    drop(lonely);
+    let seed = member();
+    let peers = format!(
+        "peers {{ name: \"a\" listen: \"127.0.0.1:0\" seed: \"{seed}\" key_file: {key:?} probe_every: \"100ms\" }}\nlog {{"
+    );
+    let rig = rig(&[("connections: 8000", "connections: 3"), ("log {", &peers)]);
     let address = rig.daemon.address();
+    wait("the other member to be told", || {
+        assert_eq!(tape.get(address, "/members"), 200);
+        let last = tape.0.lock().unwrap().last().cloned();
+        matches!(last, Some(Exchange::Http { body, .. }) if body.contains("rtt_us") && body.contains("connected"))
+    });
     for path in
         ["/api", "/api/openapi.json", "/api/session.v1.asyncapi.json", "/api/session.v2.asyncapi.json"]
     {
--- a/crates/membership/src/check.rs
+++ b/crates/membership/src/check.rs
@@ -1,5 +1,6 @@
 //! Model checking: three members, what they tell each other delivered in any order, late, twice or never, accusations out of
 //! nothing, a restart, an orderly leave. The members are the real state machine; only time stands still.
+#[cfg(test)]
 use crate::news::{Standpoint, State};
 use crate::peers::{Peers, Settings};
 use stateright::{Checker, Model, Property};
--- a/crates/membership/src/peers.rs
+++ b/crates/membership/src/peers.rs
@@ -146,6 +146,13 @@
     pub accused: u64,
 }
 
+impl Counters {
+    /// All that was heard and dropped.
+    pub fn dropped(&self) -> u64 {
+        self.garbage + self.versions + self.checksums + self.strays + self.old_lives
+    }
+}
+
 #[derive(Clone)]
 pub(crate) struct Known {
     at: Standpoint,
@@ -345,6 +352,11 @@
         self.others.get(name).map(|k| k.at.state)
     }
 
+    /// Our own name.
+    pub fn name(&self) -> &str {
+        &self.settings.name
+    }
+
     /// Our own standing.
     pub fn standing(&self) -> Standing {
         self.standing
--- a/crates/traffic-report/src/lib.rs
+++ b/crates/traffic-report/src/lib.rs
@@ -7,5 +7,5 @@
 mod text;
 
 pub use plot::svg;
-pub use source::{fetch, load, SourceError};
+pub use source::{fetch, get, load, SourceError};
 pub use text::{csv, table, watch_line};
--- a/crates/traffic-report/src/source.rs
+++ b/crates/traffic-report/src/source.rs
@@ -46,16 +46,18 @@
 /// # Errors
 /// It does not answer within the time, or not with a report.
 pub fn fetch(front: &SocketAddr, within: Duration) -> Result<Report, SourceError> {
+    report(&get(front, "/traffic", within)?)
+}
+
+/// What a front that runs has at a path.
+///
+/// # Errors
+/// It does not answer within the time, or not with status 200.
+pub fn get(front: &SocketAddr, path: &str, within: Duration) -> Result<Vec<u8>, SourceError> {
     let mut stream = TcpStream::connect_timeout(front, within)?;
     stream.set_read_timeout(Some(within))?;
     stream.set_write_timeout(Some(within))?;
-    stream.write_all(&head::request(
-        "GET",
-        "/traffic",
-        &front.to_string(),
-        &[("connection", "close")],
-        b"",
-    ))?;
+    stream.write_all(&head::request("GET", path, &front.to_string(), &[("connection", "close")], b""))?;
     let mut answer = Vec::new();
     stream.take(MOST as u64).read_to_end(&mut answer)?;
     let other = |what: String| SourceError::Other(what);
@@ -72,7 +74,7 @@
     if !body.may_close() {
         return Err(other("broke off within its answer".into()));
     }
-    report(&data)
+    Ok(data)
 }
 
 /// Reads what a front kept of its account.
