Relief lowers by as many rungs as the excess asks for where a link is over half overrun

Beyond 1.5 asked over given the steps of one relief go on down to the class's floor, the cheapest first, and each session is changed once.

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -766,24 +766,30 @@
         }
         let mut need = server.use_kb * (1.0 - OVERRUN.1 / x);
         let here = self.here(server).filter(|(_, s)| s.playing && !s.closed);
-        let mut steps: Vec<(f64, f64, RequestId, u8)> = here
-            .filter_map(|(request, s)| {
-                let class = self.class(s.ask.class)?;
-                let lower = usize::from(s.rung.checked_sub(1).filter(|r| *r >= class.floor)?);
-                let saved = (self.s.rung_kb[lower + 1] - self.s.rung_kb[lower]) * class.rate_factor;
-                let lost = (self.s.rung_worth[lower + 1] - self.s.rung_worth[lower]) * class.worth;
-                Some((lost / saved.max(1e-9), saved, request, lower as u8))
-            })
-            .collect();
-        // A rung down where it costs the least worth for what it saves, the last by chance. Danger: each of
-        // many fronts rounds its part up to a whole session.
+        let down = |(request, s): (RequestId, &Session)| {
+            let class = self.class(s.ask.class)?;
+            let step = |lower: u8| {
+                let l = usize::from(lower);
+                let saved = (self.s.rung_kb[l + 1] - self.s.rung_kb[l]) * class.rate_factor;
+                let lost = (self.s.rung_worth[l + 1] - self.s.rung_worth[l]) * class.worth;
+                (lost / saved.max(1e-9), saved, request, lower)
+            };
+            let least = if x > 1.5 { class.floor } else { s.rung.saturating_sub(1).max(class.floor) };
+            Some((least..s.rung).rev().map(step).collect::<Vec<_>>())
+        };
+        let mut steps: Vec<(f64, f64, RequestId, u8)> = here.filter_map(down).flatten().collect();
         steps.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut to: BTreeMap<RequestId, u8> = BTreeMap::new();
         for (_, saved, request, rung) in steps {
             if need > f64::from(self.rng.0.rand_float()) * saved {
-                self.set_rung(now, request, rung, self.paced(LOWER_PAUSE), out);
+                let lowest = to.get(&request).map_or(rung, |r| rung.min(*r));
+                to.insert(request, lowest);
             }
             need -= saved;
         }
+        for (request, rung) in to {
+            self.set_rung(now, request, rung, self.paced(LOWER_PAUSE), out);
+        }
         let pause = self.s.note_delay.saturating_add(SECOND);
         self.servers.entry(id).and_modify(|s| s.next_relief = after(now, pause));
     }
