Members: a field never read, a factor of one and a wrapper are gone

Read again: Peers::due was written and never read since the standstill is told by next(); HELP multiplied by one; entry_of only called the board. A comment in the node's viewers is wrapped. Behaviour as before: clippy, the model's check and the fleet tests pass.

--- a/crates/membership/src/peers.rs
+++ b/crates/membership/src/peers.rs
@@ -193,7 +193,6 @@
     gossip_at: u64,
     sync_at: u64,
     rejoin_at: u64,
-    due: u64,
     budget: (Budget, Budget),
     counters: Counters,
     rng: oorandom::Rand32,
@@ -232,7 +231,6 @@
             gossip_at: u64::MAX,
             sync_at: within(&mut rng, 2 * SECOND),
             rejoin_at: now,
-            due: now,
             budget: (Budget::new(settings.datagrams, now), Budget::new(settings.bytes, now)),
             counters: Counters::default(),
             settings,
@@ -279,7 +277,6 @@
             self.rejoin(now, out);
         }
         self.stand(now, out);
-        self.due = self.next();
     }
 
     /// Danger: a process that stood still (a stop, a host without time) finds all its timers due: it would take for gone
--- a/crates/membership/src/peers/probe.rs
+++ b/crates/membership/src/peers/probe.rs
@@ -2,9 +2,6 @@
 use super::*;
 use crate::wire::Body;
 
-/// A helper gives up after this many times the time for an answer.
-const HELP: u64 = 1;
-
 #[derive(Clone)]
 pub(crate) struct Probe {
     pub target: String,
@@ -154,7 +151,7 @@
     pub(super) fn help(&mut self, now: u64, asker: &str, seq: u32, target: &str, out: &mut Vec<Output>) {
         self.seq = self.seq.wrapping_add(1);
         let own = self.seq;
-        let until = now.saturating_add(HELP * self.settings.answer_within);
+        let until = now.saturating_add(self.settings.answer_within);
         if self.helping.len() < 64
             && self.send_to(
                 now,
--- a/crates/membership/src/peers/spread.rs
+++ b/crates/membership/src/peers/spread.rs
@@ -45,10 +45,6 @@
         Some(News { name: name.to_owned(), address, at: known.at, by })
     }
 
-    fn entry_of(&self, now: u64, owner: &str, key: u8) -> Option<Written> {
-        self.board.written(now, owner, key)
-    }
-
     /// Sends a datagram with what fits of what is new. `spare`: the part of the budget that must stay.
     pub(super) fn send(
         &mut self,
@@ -73,7 +69,7 @@
             let fits = match item {
                 Item::Member(name) => self.news_of(name).is_some_and(|news| builder.news(&news)),
                 Item::Entry(owner, key) => {
-                    self.entry_of(now, owner, *key).is_some_and(|entry| builder.entry(&entry))
+                    self.board.written(now, owner, *key).is_some_and(|entry| builder.entry(&entry))
                 }
             };
             if let (true, Some(times)) = (fits, times) {
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -52,11 +52,11 @@
     /// Closes the connection of least use.
     ///
     /// Danger: hundreds that connect and say nothing would take the descriptors that servers need, and keep honest
-    /// viewers out. And one that was closed frees its place only when its coroutine has run: asked again before that, as
-    /// on a busy machine each millisecond, this would close one after the other until it comes to those that are of use (seen as a
-    /// viewer with a session that was closed in a crowd of silent ones). So one goes at a time. Harm: in a crowd an honest connection that has not spoken yet may be closed; it is the oldest of
-    /// them that goes. A set-up that crosses the close of a connection is sent again by its viewer, so one that was idle
-    /// for long goes before one that just spoke.
+    /// viewers out. And one that was closed frees its place only when its coroutine has run: asked again before that, as on
+    /// a busy machine each millisecond, this would close one after the other until it comes to those that are of use (seen
+    /// as a viewer with a session that was closed in a crowd of silent ones). So one goes at a time. Harm: in a crowd an
+    /// honest connection that has not spoken yet may be closed; it is the oldest of them that goes. A set-up that crosses
+    /// the close of a connection is sent again by its viewer, so one that was idle for long goes before one that just spoke.
     fn shed(&self) {
         let conns = self.conns();
         if conns.values().any(|c| c.outbox.socket().is_shut()) {
