Turns at a cold server lie on one grid of all fronts; late attempts are asked about once more

Need: a cold server falls by the sum of what all fronts send; the share of each is to follow from the rule's bound. Seen: a front's turn was reckoned from its own last set-up and its own news, so that turns of many fronts could drift together; a front that restarted forgot that its turn was used; an attempt whose connection came about late left after its turn, a drain or its time. choice.rs, turn and cold_interval. Change: turns on one grid from the start that the list tells, a set-up in each, none in a turn that began before this front did or heard of it; the fixed part 0.5 is the two spans in which a turn meets one. Front::may_leave and Core::may_leave answer for what has not left yet.

--- a/crates/front/src/core/mod.rs
+++ b/crates/front/src/core/mod.rs
@@ -371,6 +371,16 @@
         }
     }
 
+    /// Whether an attempt that is out and was not written yet may still be: asked right before, since its connection may have
+    /// taken long to come about. Call after [`Core::decide`], so that all that was heard counts.
+    pub fn may_leave(&self, now: Time, attempt: AttemptId) -> bool {
+        let request = self.attempts.get(&attempt).and_then(|id| Some((*id, self.requests.get(id)?)));
+        request.is_some_and(|(id, r)| {
+            let out = r.out.is_some_and(|(out, _, _)| out == attempt);
+            out && r.standing == Standing::Waiting && now < r.gives_up && self.front.may_leave(now, id)
+        })
+    }
+
     fn attempt(&mut self, now: Time, id: RequestId, server: ServerId, timeout: u64, out: &mut Vec<Effect>) {
         let (settings, requests) = (&self.settings, &mut self.requests);
         // The last guard before the wire, whatever was decided: one attempt out at a time, none for an answered
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -42,7 +42,7 @@
 const CLEARING: u32 = 3; // Successes in a row that clear it.
 /// Within a tenant's share still: its rate over that, seconds of it at once, requests that chance may add.
 const TENANT: (f64, f64, f64) = (1.15, 3.0, 4.0);
-const COLD_PART: f64 = 0.5; // Part of the pace that pushes over: turns from start and from break must fit.
+const COLD_MEETS: f64 = 2.0; // Spans in which turns begin that meet one span: it, and one before it.
 
 #[derive(Clone, Default)]
 struct Gauge {
@@ -113,7 +113,8 @@
     short: Option<(Time, Time)>, // Since when it delivers short, and when that was last told.
     failed: Time,
     cold_until: Time,
-    next_cold: Time,
+    next_cold: Time, // No set-up while cold before this, nor in a turn that began before the other.
+    next_turn: Time,
     next_relief: Time,
 }
 
@@ -179,6 +180,7 @@
     ticked: Option<Time>,
     now: Time,
     listed: Time,
+    born: Time,
     resumed: Time, // When this front last found that it had stood still.
     sums: Sums,
     moves: VecDeque<(Time, f64)>, // Late begins of sessions of ours, and their ends below nought.
@@ -311,6 +313,7 @@
             seconds: FIRST_LENGTH.0 * FIRST_LENGTH.1,
             setup: FIRST_SETUP,
             listed: now,
+            born: now,
             arrivals: (0.0, COUNTED.0),
             each_kb: settings.rung_kb.get(rungs / 2).copied().unwrap_or(1.0),
             s: settings,
@@ -378,14 +381,14 @@
             let weight = if e.weight.is_finite() && e.weight > 0.0 { e.weight } else { 1.0 };
             let server = self.servers.entry(e.server).or_default();
             let restarted = e.since > server.is.since;
+            server.next_turn = server.next_turn.max(self.born);
             server.rack = usize::from(e.cell) % self.racks.len();
             server.gauge.gives = (self.s.link_kb * weight).max(1.0);
             server.places = self.s.places.get(usize::from(e.kind)).map_or(f64::INFINITY, |p| f64::from(*p));
             let cold_until = after(e.since, self.s.cold);
             if restarted && cold_until > now {
                 server.cold_until = cold_until.max(server.cold_until);
-                (server.broke, server.blocked) = (false, now);
-                server.next_cold = server.next_cold.max(turn(&self.s, server, e.server, e.since, now));
+                (server.broke, server.blocked, server.next_turn) = (false, now, now);
             }
             self.cells.entry(server.is.cell).or_default().remove(&e.server);
             self.cells.entry(e.cell).or_default().insert(e.server);
@@ -671,12 +674,22 @@
         let mut flights = self.here(server).map(|(_, s)| s).filter(|s| !s.playing).peekable();
         let trial = server.doubts > 0 && (!free || flights.peek().is_some());
         let stuck = flights.any(|s| since(now, s.waiting.max(self.resumed)) > slow);
-        // A turn at a cold server lapses: danger, unused turns of many fronts add up until a crowd comes.
-        let lapsed = since(now, server.next_cold) % cold_interval(&self.s, server).max(1) > self.s.fall;
-        let cold = now < server.cold_until && (now < server.next_cold || lapsed);
+        let turn = || turn(&self.s, server, id, now).filter(|turn| *turn >= server.next_turn);
+        let cold = now < server.cold_until && (now < server.next_cold || turn().is_none());
         server.is.phase == Phase::Ready && now >= server.blocked && !(stuck || trial || cold)
     }
 
+    /// Whether an attempt that was decided and has not left, as one whose connection comes about late, may
+    /// leave still: its server takes new work, and neither its turn at a cold one nor its time has passed.
+    pub fn may_leave(&self, now: Time, request: RequestId) -> bool {
+        let session = self.sessions.get(&request).filter(|s| !s.closed && now < s.ask.deadline);
+        let at = session.and_then(|s| Some((s, s.server?, self.servers.get(&s.server?)?)));
+        at.is_some_and(|(s, id, server)| {
+            let in_turn = || turn(&self.s, server, id, now).is_some_and(|turn| turn <= s.waiting);
+            server.is.phase == Phase::Ready && (now >= server.cold_until || in_turn())
+        })
+    }
+
     /// Two random holders: the higher rung offered, then the lighter; the others only when both are full.
     fn choose(&mut self, now: Time, request: RequestId, over_share: bool) -> Option<(ServerId, u8)> {
         let session = self.sessions.get(&request)?;
@@ -833,7 +846,9 @@
         self.extras.extend((!session.tried.is_empty()).then_some(now));
         session.tried.push(id);
         let set = &self.s;
-        self.servers.entry(id).and_modify(|s| s.next_cold = after(now, cold_interval(set, s)));
+        self.servers.entry(id).and_modify(|s| {
+            (s.next_cold, s.next_turn) = (after(now, cold_interval(set, s).min(set.fall)), after(now, 1));
+        });
         self.book(now, request, true);
         self.moves.push_back((now, 1.0));
         out.push(Action::Rung { request, rung });
@@ -884,7 +899,7 @@
             if broke && !server.broke {
                 server.broke = true;
                 server.cold_until = server.cold_until.max(after(now, 2 * self.s.cold));
-                server.next_cold = server.next_cold.max(turn(&self.s, server, id, now, now));
+                server.next_turn = server.next_turn.max(now);
             }
             let late = outcome == Outcome::Timeout && since(now, self.resumed) > STALL;
             if broke || late || outcome == Outcome::Error {
@@ -1014,21 +1029,23 @@
     }
 }
 
-/// A front's least time between set-ups at a cold server, its warmth taken at the least.
+/// Time between a front's turns at a cold server, its warmth taken at the least: so long that all fronts'
+/// turns that meet any span of the rule's length are what the rule allows in it, and one more at most.
 fn cold_interval(s: &Settings, server: &Server) -> u64 {
-    let pace = server.places.min(10_000.0) / s.cold.max(1) as f64;
-    let pace = pace * s.cold_share * s.fall_multiple * COLD_PART;
-    (f64::from(s.siblings.max(1)) / pace.max(1e-12)) as u64
+    let pace = server.places.min(10_000.0) / s.cold.max(1) as f64 * s.cold_share * s.fall_multiple;
+    (f64::from(s.siblings.max(1)) * COLD_MEETS / pace.max(1e-12)) as u64
 }
 
-/// This front's first turn at a server that started: turns are spread evenly over the interval of all fronts.
-/// Danger: all hear of a start at once and push it over. Harm: many fronts leave a cold server idle.
-fn turn(s: &Settings, server: &Server, id: ServerId, start: Time, now: Time) -> Time {
+/// When this front's turn at a cold server began, if it is in one: a set-up in each, for the rule's span from
+/// its begin. Danger: turns reckoned from each front's own news or last set-up drift until they meet, and
+/// unused ones that are kept add up until a crowd comes; so they lie on one grid from the start that the list
+/// tells all, evenly spread over the fronts. Harm: many fronts leave a cold server idle.
+fn turn(s: &Settings, server: &Server, id: ServerId, now: Time) -> Option<Time> {
     let (siblings, interval) = (u64::from(s.siblings.max(1)), cold_interval(s, server).max(1));
     let place = (u64::from(s.index) + u64::from(id.0)) % siblings;
-    let first = start.0.saturating_add((interval as f64 * (place as f64 + 0.5) / siblings as f64) as u64);
-    let missed = now.0.saturating_sub(first).div_ceil(interval);
-    Time(first.saturating_add(missed.saturating_mul(interval)))
+    let first = (interval as f64 * (place as f64 + 0.5) / siblings as f64) as u64;
+    let late = since(now, server.is.since).checked_sub(first)? % interval;
+    (late <= s.fall).then(|| Time(now.0 - late))
 }
 
 impl Server {
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -37,7 +37,7 @@
 }
 
 /// A class of sessions.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// Wanted bound for a set-up.
     pub aim: u64,
@@ -78,7 +78,7 @@
 pub type Report = Vec<(LoadField, f64)>;
 
 /// What holds for a front from its start. The default is all zero: name what your fleet has.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     /// This front's number among its siblings, itself included.
     pub index: u32,
--- /dev/null
+++ b/crates/policy/tests/cold_ramp.rs
@@ -0,0 +1,178 @@
+//! A server that starts while many fronts send: what all of them send it together, in any span of the rule's length.
+//!
+//! In virtual time, each front with traffic of its own, some with many times the mean; a tenth of all attempts fail at once and
+//! are made again; fronts hear of the start up to 1.5 s apart, and a third of them restarts while the server warms up.
+//! `RAMP_SEEDS=200 cargo test --release --test cold_ramp -- --nocapture` prints the figures of `docs/design.md`.
+mod common;
+use common::*;
+use crankpaddle::*;
+use std::collections::VecDeque;
+
+/// When sessions come to their ends, and where.
+type Ends = VecDeque<(u64, u64, ServerId)>;
+
+const SERVER: u32 = 7;
+const BEGIN: u64 = 1000 * SECOND;
+
+/// What the settings allow in one span (N), the sum that the rule leaves to chance, and the most sent.
+struct Ramp {
+    allowed: f64,
+    falls: f64,
+    most: usize,
+    most_work: f64,
+    mean: f64,
+}
+
+struct Dice(oorandom::Rand64);
+
+impl Dice {
+    fn unit(&mut self) -> f64 {
+        self.0.rand_float().max(1e-12)
+    }
+
+    fn below(&mut self, n: u64) -> u64 {
+        self.0.rand_range(0..n)
+    }
+
+    /// Work of a request, its mean 1 and its spread 0.5 of that (lognormal).
+    fn work(&mut self) -> f64 {
+        let sigma = (1.0f64 + 0.25).ln().sqrt();
+        let normal = (-2.0 * self.unit().ln()).sqrt() * (std::f64::consts::TAU * self.unit()).cos();
+        (sigma * normal - sigma * sigma / 2.0).exp()
+    }
+}
+
+fn roster(start: Option<u64>) -> Event {
+    let mut entries = fleet();
+    entries.extend(start.map(|at| Listing { cell: 0, ..listing(SERVER, Phase::Ready, Time(at)) }));
+    Event::Roster(RosterKind::Full, entries)
+}
+
+/// The set-ups that a fleet of `n` fronts sends to a server that starts; each with its time and its work.
+fn ramp(n: u32, places: u32, seed: u64) -> (Settings, Vec<(u64, f64)>) {
+    let own = |index| Settings { index, siblings: n, places: vec![places], ..settings() };
+    let mut dice = Dice(oorandom::Rand64::new(u128::from(seed) + 1));
+    let front = |index: u32, now: u64, seed: u64| {
+        let mut drive = Drive { front: Front::new(own(index), seed, Time(now)), now: Time(now) };
+        drive.send(roster(None));
+        drive
+    };
+    let mut fronts: Vec<Drive> = (0..n).map(|i| front(i, BEGIN, seed * 1000 + u64::from(i))).collect();
+    let weights: Vec<f64> = (0..n).map(|_| (-dice.unit().ln()).powi(2)).collect();
+    let start = BEGIN + SECOND;
+    let hears: Vec<u64> = (0..n).map(|_| start + dice.below(1500) * MS).collect();
+    let restarts: Vec<Option<u64>> =
+        (0..n).map(|_| (dice.unit() < 1.0 / 3.0).then(|| start + dice.below(9000) * MS)).collect();
+    let (mut knows, mut ends) = (vec![false; n as usize], vec![Ends::new(); n as usize]);
+    let (mut sent, mut request, mut ticks) = (Vec::new(), 0, vec![0; n as usize]);
+    let most = weights.iter().copied().fold(0.0, f64::max);
+    let rate = 150.0; // Requests a second, of the whole fleet; a third of them may go to this server.
+    let mut now = BEGIN;
+    loop {
+        now += (-dice.unit().ln() / rate * SECOND as f64) as u64;
+        if now >= start + own(0).cold {
+            break; // It is warm.
+        }
+        let i = loop {
+            let i = dice.below(u64::from(n)) as usize;
+            if dice.unit() * most <= weights[i] {
+                break i;
+            }
+        };
+        if let Some(at) = restarts[i].filter(|at| now >= *at && fronts[i].now.0 < *at) {
+            // It starts anew from a list that may be as old as its siblings' news.
+            fronts[i] = front(i as u32, at, seed * 1000 + 500 + i as u64);
+            (knows[i], ends[i]) = (false, Ends::new());
+        }
+        let d = &mut fronts[i];
+        while ends[i].front().is_some_and(|(at, ..)| *at <= now) {
+            let (at, request, server) = ends[i].pop_front().expect("just seen");
+            d.now = Time(at).max(d.now);
+            d.end(request, server, Outcome::Ok, true);
+        }
+        d.now = Time(now).max(d.now);
+        if !knows[i] && now >= hears[i] {
+            knows[i] = true;
+            d.send(roster(Some(start)));
+        }
+        if now >= ticks[i] {
+            d.send(Event::Timer(0));
+            ticks[i] = now + SECOND;
+        }
+        request += 6; // All of one title, held by cells 0 to 2.
+        let mut out = d.ask(request, FREE);
+        while let Some(server) = attempt(&out) {
+            if server == ServerId(SERVER) {
+                sent.push((now, dice.work()));
+            }
+            if dice.unit() >= 0.1 {
+                d.plays(request, server);
+                ends[i].push_back((now + 2 * SECOND, request, server));
+                break;
+            }
+            out = d.end(request, server, Outcome::Full, false);
+        }
+    }
+    (own(0), sent)
+}
+
+fn measured(n: u32, places: u32, seeds: u64) -> Ramp {
+    let mut result = Ramp { allowed: 0.0, falls: 0.0, most: 0, most_work: 0.0, mean: 0.0 };
+    for seed in 0..seeds {
+        let (s, sent) = ramp(n, places, seed);
+        let pace = f64::from(places) / s.cold as f64 * s.cold_share * s.fall_multiple;
+        result.allowed = pace * s.fall as f64;
+        result.falls = result.allowed + 2.0 * result.allowed.sqrt() + 2.0;
+        for from in 0..sent.len() {
+            let span = || sent[from..].iter().take_while(|(at, _)| *at < sent[from].0 + s.fall);
+            result.most = result.most.max(span().count());
+            result.most_work = result.most_work.max(span().map(|(_, work)| work).sum());
+        }
+        result.mean += sent.len() as f64 / (s.cold as f64 / s.fall as f64) / seeds as f64;
+    }
+    result
+}
+
+fn holds(n: u32) {
+    let seeds = std::env::var("RAMP_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(10);
+    for places in [25, 250] {
+        let r = measured(n, places, seeds);
+        println!(
+            "{n} fronts, {places} places, {seeds} seeds: N {:.1}, falls over {:.1}; most {} set-ups, {:.1} of work; \
+             mean {:.2} a span, {:.0}% of N",
+            r.allowed,
+            r.falls,
+            r.most,
+            r.most_work,
+            r.mean,
+            100.0 * r.mean / r.allowed
+        );
+        assert!(r.mean > 0.0, "no front ever has a turn");
+        assert!(
+            r.most as f64 <= r.allowed + 1.0,
+            "{n} fronts, {places} places: {} set-ups in a span",
+            r.most
+        );
+        assert!(r.most_work < r.falls, "{n} fronts, {places} places: {} of work in a span", r.most_work);
+    }
+}
+
+#[test]
+fn two_fronts_do_not_push_a_cold_server_over() {
+    holds(2);
+}
+
+#[test]
+fn twenty_fronts_do_not_push_a_cold_server_over() {
+    holds(20);
+}
+
+#[test]
+fn thirty_fronts_do_not_push_a_cold_server_over() {
+    holds(30);
+}
+
+#[test]
+fn three_hundred_fronts_do_not_push_a_cold_server_over() {
+    holds(300);
+}
