--- a/crates/node/src/crowd.rs
+++ b/crates/node/src/crowd.rs
@@ -60,10 +60,13 @@
     /// in one of them at any time, so whoever closes a connection, or ends, asks this and nothing else.
     ///
     /// Danger: closing for want of room and leaving each looked at set-ups that had been heard only; one that was read and lay in
-    /// the queue, or whose answer a slow reader had not taken, was lost. `unread`: whether to look at what was not read too.
+    /// the queue, or whose answer a slow reader had not taken, was lost. `unread`: whether to look at what was not read, or not
+    /// heard, too.
     pub fn owes(&self, now: u64, unread: bool) -> bool {
         let answers = now < self.owed_until.load(Ordering::Relaxed) && !self.outbox.is_empty();
-        !self.outbox.socket().is_shut() && (self.is_asked() || answers || unread && self.is_unread())
+        let open = self.open.load(Ordering::Acquire) > 0;
+        !self.outbox.socket().is_shut()
+            && (open || answers || unread && (self.is_asked() || self.is_unread()))
     }
 
     /// When a message that begins now must be whole. Danger: closed amid it, the connection would take with it the set-ups that
--- a/crates/node/src/hub/list.rs
+++ b/crates/node/src/hub/list.rs
@@ -50,9 +50,12 @@
             (server.address, server.listed) = (entry.address, true);
         }
         self.listings = listed;
+        let drains = listings.iter().filter(|l| l.phase == Phase::Draining).map(|l| l.server);
+        let drains: Vec<ServerId> = drains.collect();
         if !listings.is_empty() {
             self.tell_core(Input::Roster(kind, listings));
         }
+        drains.into_iter().for_each(|id| self.waits_no_more(id));
     }
 
     /// The server of this name, if the list has it.
--- a/crates/node/src/hub/servers.rs
+++ b/crates/node/src/hub/servers.rs
@@ -157,13 +157,21 @@
         waiting.into_iter().for_each(|attempt| self.is_to_leave(attempt, Some(id)));
     }
 
+    fn connecting(&self, id: ServerId) -> Vec<LinkId> {
+        let links = self.servers.get(&id).map(|s| s.links.iter().copied());
+        let connecting = |id: &LinkId| self.links.get(id).is_some_and(Link::is_connecting);
+        links.into_iter().flatten().filter(connecting).collect()
+    }
+
+    /// What waits for a connection to this server is decided on anew, before it comes up.
+    pub(super) fn waits_no_more(&mut self, id: ServerId) {
+        self.connecting(id).into_iter().for_each(|link| self.released_to_leave(link));
+    }
+
     /// Connects to a server that are under way are of no use any more: what waits for them looks for another way. Danger: the
     /// address may be another server's by now, and a set-up would reach one that it may not go to.
     pub(super) fn stop_connecting(&mut self, id: ServerId) {
-        let links = self.servers.get(&id).map(|s| s.links.clone()).unwrap_or_default();
-        let connecting = |id: &LinkId| self.links.get(id).is_some_and(Link::is_connecting);
-        let connecting: Vec<LinkId> = links.into_iter().filter(connecting).collect();
-        for link in connecting {
+        for link in self.connecting(id) {
             self.released_to_leave(link);
             self.link_down(link);
         }
--- a/crates/node/src/poller.rs
+++ b/crates/node/src/poller.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Time between two questions, the first answered. What happened counts as told after 1.5 s at the latest.
+/// Time between an answer and the next question. What happened counts as told after 1.5 s at the latest.
 const EVERY: Duration = Duration::from_millis(250);
 /// Without an answer it is asked again after this time.
 const WITHIN: Duration = Duration::from_millis(200);
@@ -25,17 +25,18 @@
 /// No socket can be had, or the thread can't be started.
 pub(crate) fn follow(shared: Arc<Shared>, until: Arc<AtomicBool>) -> io::Result<()> {
     // Danger: a socket that is opened when the directory moves wants a descriptor at a time when crowds may hold them all. This one
-    // is bound at the start, from the node's own address, and serves for whatever is asked.
+    // is bound at the start, from the node's own address, and turned to whoever is asked; only he comes through.
     let socket = UdpSocket::bind(SocketAddr::new(shared.config.listen.ip(), 0))?;
     let thread = std::thread::Builder::new().name("directory".into()).stack_size(STACK);
     thread.spawn(move || {
-        let mut line = Line::new(socket, shared.nameserver());
+        let mut line = Line { socket, to: None, asked: VecDeque::new() };
         let mut held = Held { list: shared.config.known.clone(), lower: 0 };
         while !until.load(Ordering::Acquire) {
             line.turn_to(shared.nameserver());
             line.ask();
-            if let Some(list) = line.answer().and_then(|list| held.take(list)) {
-                shared.tell(Msg::List(list));
+            if let Some(list) = line.answer() {
+                held.take(list).into_iter().for_each(|news| shared.tell(Msg::List(news)));
+                std::thread::sleep(EVERY);
             }
         }
     })?;
@@ -77,19 +78,19 @@
 /// Questions to one directory, of which any may still be answered.
 struct Line {
     socket: UdpSocket,
-    to: SocketAddr,
+    to: Option<SocketAddr>,
     asked: VecDeque<(u16, Instant)>,
 }
 
 impl Line {
-    fn new(socket: UdpSocket, to: SocketAddr) -> Line {
-        Line { socket, to, asked: VecDeque::new() }
-    }
-
     /// From now on another directory is asked; what was asked of the former may not answer any more.
     fn turn_to(&mut self, to: SocketAddr) {
-        if to != self.to {
-            (self.to, self.asked) = (to, VecDeque::new());
+        if self.to != Some(to) {
+            self.asked.clear();
+            let connected = self.socket.connect(to);
+            let said =
+                connected.inspect_err(|fault| tracing::error!(%fault, %to, "the directory can't be asked"));
+            self.to = said.ok().map(|()| to);
         }
     }
 
@@ -99,36 +100,31 @@
             self.asked.pop_front();
         }
         let id: u16 = rand::random();
-        match query(id).map_err(io::Error::other).and_then(|bytes| self.socket.send_to(&bytes, self.to)) {
+        match query(id).map_err(io::Error::other).and_then(|bytes| self.socket.send(&bytes)) {
             Ok(_) => self.asked.push_back((id, now)),
             Err(fault) => tracing::debug!(%fault, "the directory can't be asked"),
         }
     }
 
-    /// The answer to any of the questions; if there is one, the time between two questions has passed.
+    /// The answer to any of the questions, within the time to the next.
     ///
-    /// Danger: a directory that takes longer than the time to the next question would never be heard if only the last question
-    /// counted. Harm: an answer may be as old as [`LATEST`]; what was told since has a higher serial, and goes before it.
+    /// Danger: a directory that takes longer than that would never be heard if only the last question counted. Harm: an answer may
+    /// be as old as [`LATEST`]; what was told since has a higher serial, and goes before it.
     fn answer(&mut self) -> Option<List> {
-        let (start, mut list) = (Instant::now(), None);
+        let until = Instant::now() + WITHIN;
         let mut bytes = [0u8; MOST_ANSWER];
         loop {
-            let bound = if list.is_some() { EVERY } else { WITHIN };
-            let left = (start + bound).checked_duration_since(Instant::now()).filter(|left| !left.is_zero());
-            let Some(left) = left else { return list };
-            if list.is_some() {
-                std::thread::sleep(left);
-                return list;
-            }
-            let got =
-                self.socket.set_read_timeout(Some(left)).and_then(|()| self.socket.recv_from(&mut bytes));
-            match got {
-                Ok((got, from)) if from == self.to => list = self.read(&bytes[..got]),
-                Ok(_) => {} // A stranger.
+            let left = until.checked_duration_since(Instant::now()).filter(|left| !left.is_zero())?;
+            match self.socket.set_read_timeout(Some(left)).and_then(|()| self.socket.recv(&mut bytes)) {
+                Ok(got) => {
+                    if let Some(list) = self.read(&bytes[..got]) {
+                        return Some(list);
+                    }
+                }
                 Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
                     return None
                 }
-                Err(_) => std::thread::sleep(left), // Nobody is there, or the machine can't ask.
+                Err(_) => std::thread::sleep(left), // Nobody listens there, or the machine can't ask.
             }
         }
     }
--- a/crates/node/tests/rig/mod.rs
+++ b/crates/node/tests/rig/mod.rs
@@ -1,6 +1,7 @@
 //! A node on loopback with stand-ins of its platform: servers, a directory and viewers that do what a test tells them.
 //! They are written from the platform's protocol and block on threads of their own; nothing waits without a bound.
 #![allow(dead_code)] // Each test file uses its part.
+use crankpaddle::Event;
 use crankpaddle_front::Tap;
 use crankpaddle_node::Node;
 use crankpaddle_node_protocol::config::Config;
@@ -40,6 +41,7 @@
     held: RefCell<VecDeque<Heard>>, // Heard, and not asked for yet.
     deaf: Arc<AtomicBool>,
     vanished: Arc<AtomicBool>,
+    listener: std::thread::Thread,
 }
 
 fn listen(address: SocketAddr) -> TcpListener {
@@ -59,7 +61,7 @@
         let deaf = Arc::new(AtomicBool::new(false));
         let vanished = Arc::new(AtomicBool::new(false));
         let (all, ends, lost) = (conns.clone(), deaf.clone(), vanished.clone());
-        std::thread::spawn(move || {
+        let accepts = std::thread::spawn(move || {
             for stream in listener.incoming() {
                 if ends.load(Ordering::Acquire) {
                     return; // The listener closes with this.
@@ -82,6 +84,7 @@
                 std::thread::spawn(move || hear(stream, number, &tell));
             }
         });
+        let listener = accepts.thread().clone();
         Server {
             name: format!("s-{number:08x}"),
             address,
@@ -90,6 +93,7 @@
             held: RefCell::default(),
             deaf,
             vanished,
+            listener,
         }
     }
 
@@ -162,6 +166,23 @@
         std::iter::from_fn(|| TcpStream::connect_timeout(&self.address, short).ok()).collect()
     }
 
+    /// A machine that vanished accepts connections again.
+    pub fn is_back(&self) {
+        self.vanished.store(false, Ordering::Release);
+        self.listener.unpark();
+    }
+
+    /// A machine that vanished is gone for good; another may listen at its address.
+    pub fn leaves(&self) {
+        self.deaf.store(true, Ordering::Release);
+        self.is_back();
+    }
+
+    /// Whether any set-up was heard that was not taken.
+    pub fn heard_set_up(&self) -> bool {
+        self.look_for("SETUP").is_some()
+    }
+
     /// The process dies: nobody listens any more and connections end.
     pub fn die(&self) {
         self.deaf.store(true, Ordering::Release);
@@ -208,11 +229,13 @@
     message.session.expect("a session")
 }
 
-/// One line of the directory: id, address, priority, start.
+/// One line of the directory: id, address, zone, kind, priority, start.
 #[derive(Clone, Debug)]
 pub struct Line {
     pub name: String,
     pub address: SocketAddr,
+    pub zone: String,
+    pub kind: String,
     pub priority: u16,
     pub started_ms: u64,
 }
@@ -231,6 +254,8 @@
     Truncated,
     OtherId,
     Silence,
+    /// Each answer comes when so many further questions have been asked.
+    Behind(usize),
 }
 
 /// A stand-in directory.
@@ -248,13 +273,17 @@
         let asked = Arc::new(AtomicU64::new(0));
         let (now, count) = (told.clone(), asked.clone());
         std::thread::spawn(move || {
-            let mut bytes = [0u8; 1024];
+            let (mut bytes, mut kept) = ([0u8; 1024], VecDeque::new());
             while let Ok((got, from)) = socket.recv_from(&mut bytes) {
                 let Ok(query) = Dns::from_vec(&bytes[..got]) else { continue };
                 let told = now.lock().expect("unpoisoned").clone();
                 let answer = list(query.metadata.id, &told);
                 if told.spoilt != Some(Spoilt::Silence) {
-                    let _ = socket.send_to(&answer.to_vec().expect("written"), from);
+                    kept.push_back((answer.to_vec().expect("written"), from));
+                }
+                let behind = if let Some(Spoilt::Behind(n)) = told.spoilt { n } else { 0 };
+                for (answer, from) in kept.drain(..kept.len().saturating_sub(behind)) {
+                    let _ = socket.send_to(&answer, from);
                 }
                 count.fetch_add(1, Ordering::AcqRel);
             }
@@ -282,12 +311,13 @@
     let id = if told.spoilt == Some(Spoilt::OtherId) { id.wrapping_add(1) } else { id };
     let mut message = Dns::new(id, MessageType::Response, OpCode::Query);
     for line in &told.lines {
-        let host = name(&format!("{}.east.hosts.", line.name));
+        let host = name(&format!("{}.{}.hosts.", line.name, line.zone));
         let IpAddr::V4(ip) = line.address.ip() else { panic!("an IPv4 address") };
         let srv = SRV::new(line.priority, 10, line.address.port(), host.clone());
         message.add_answer(Record::from_rdata(name("_work._tcp.fleet.local."), 0, RData::SRV(srv)));
         message.add_additional(Record::from_rdata(host.clone(), 0, RData::A(A(ip))));
-        let text = vec!["kind=std".to_owned(), "cell=0".to_owned(), format!("started={}", line.started_ms)];
+        let text =
+            vec![format!("kind={}", line.kind), "cell=0".to_owned(), format!("started={}", line.started_ms)];
         message.add_additional(Record::from_rdata(host, 0, RData::TXT(TXT::new(text))));
     }
     let soa = SOA::new(name("ns.fleet.local."), name("ops.fleet.local."), told.serial, 1, 1, 1, 1);
@@ -409,7 +439,14 @@
 }
 
 pub fn lines(servers: &[Server]) -> Vec<Line> {
-    let line = |s: &Server| Line { name: s.name.clone(), address: s.address, priority: 0, started_ms: 0 };
+    let line = |s: &Server| Line {
+        name: s.name.clone(),
+        address: s.address,
+        zone: "east".into(),
+        kind: "std".into(),
+        priority: 0,
+        started_ms: 0,
+    };
     servers.iter().map(line).collect()
 }
 
@@ -452,6 +489,11 @@
         self.say(&json!({"verb": "FINISH", "tag": tag.as_str(), "opts": {}, "rc": cause}));
     }
 
+    /// Breaks the connection at once.
+    pub fn reset(self) {
+        rustix::net::sockopt::set_socket_linger(&self.stream, Some(Duration::ZERO)).expect("an option");
+    }
+
     /// The next line.
     pub fn line(&mut self) -> Value {
         let mut line = String::new();
@@ -481,3 +523,41 @@
         "left": left, "key": "7f3a9c21e0b4d655",
         "extras": format!("home:0;copies:1;top:1;viewer:00000000b4d65521{more}")}})
 }
+
+/// Holds the node's one worker at an event that the module is about to hear, until the test lets it go on. Nothing of the node
+/// runs meanwhile, so whatever the test does then comes before whatever the node does next.
+pub struct Gate {
+    armed: Arc<AtomicBool>,
+    reached: Receiver<()>,
+    go: Sender<()>,
+}
+
+impl Gate {
+    /// A gate at events of this sort; closed once, when it is armed.
+    pub fn at(sort: impl Fn(&Event) -> bool + Send + 'static) -> (Gate, Tap) {
+        let armed = Arc::new(AtomicBool::new(false));
+        let (tell, reached) = channel();
+        let (go, wait) = channel();
+        let holds = armed.clone();
+        let tap: Tap = Box::new(move |_, event| {
+            if sort(event) && holds.swap(false, Ordering::AcqRel) {
+                let _ = tell.send(()); // The test may be over.
+                let _ = wait.recv_timeout(LONG);
+            }
+        });
+        (Gate { armed, reached, go }, tap)
+    }
+
+    pub fn arm(&self) {
+        self.armed.store(true, Ordering::Release);
+    }
+
+    /// Waits until the node stands at the gate.
+    pub fn reached(&self) {
+        self.reached.recv_timeout(LONG).expect("the node comes to the gate");
+    }
+
+    pub fn open(&self) {
+        self.go.send(()).expect("the node stands at the gate");
+    }
+}
