--- a/crates/api/src/conform.rs
+++ b/crates/api/src/conform.rs
@@ -60,15 +60,24 @@
 impl Verdict {
     /// Whether both directions agree.
     pub fn agrees(&self) -> bool {
-        self.looked_at > 0 && self.strange.is_empty() && self.unseen.is_empty() && self.needless.is_empty()
+        self.looked_at > 0
+            && self.strange.is_empty()
+            && self.unseen.is_empty()
+            && self.needless.is_empty()
     }
 }
 
 impl fmt::Display for Verdict {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.strange.iter().try_for_each(|what| writeln!(f, "not described: {what}"))?;
-        self.unseen.iter().try_for_each(|what| writeln!(f, "described and never exchanged: {what}"))?;
-        self.needless.iter().try_for_each(|what| writeln!(f, "needless exception: {what}"))?;
+        self.strange
+            .iter()
+            .try_for_each(|what| writeln!(f, "not described: {what}"))?;
+        self.unseen
+            .iter()
+            .try_for_each(|what| writeln!(f, "described and never exchanged: {what}"))?;
+        self.needless
+            .iter()
+            .try_for_each(|what| writeln!(f, "needless exception: {what}"))?;
         write!(f, "{} messages and answers looked at", self.looked_at)
     }
 }
@@ -96,7 +105,11 @@
 fn compiled(document: &Value, name: String, schema: &Value) -> Result<Described, String> {
     let whole = json!({"allOf": [schema], "components": document["components"]});
     let validator = jsonschema::draft202012::new(&whole).map_err(|e| format!("{name}: {e}"))?;
-    Ok(Described { name, schema: schema.clone(), validator })
+    Ok(Described {
+        name,
+        schema: schema.clone(),
+        validator,
+    })
 }
 
 fn at<'v>(document: &'v Value, reference: &str) -> Option<&'v Value> {
@@ -116,10 +129,14 @@
             let listed = listed.ok_or_else(|| format!("AsyncAPI has no operation {name:?}"))?;
             let each = listed.iter().map(|message| {
                 let broken = || format!("a message of {name:?} refers to nothing: {message}");
-                let in_channel =
-                    message["$ref"].as_str().and_then(|r| at(&documents[0], r)).ok_or_else(broken)?;
-                let whole =
-                    in_channel["$ref"].as_str().and_then(|r| at(&documents[0], r)).ok_or_else(broken)?;
+                let in_channel = message["$ref"]
+                    .as_str()
+                    .and_then(|r| at(&documents[0], r))
+                    .ok_or_else(broken)?;
+                let whole = in_channel["$ref"]
+                    .as_str()
+                    .and_then(|r| at(&documents[0], r))
+                    .ok_or_else(broken)?;
                 let called = whole["name"].as_str().ok_or_else(broken)?.to_owned();
                 compiled(&documents[0], called, &whole["payload"])
             });
@@ -128,8 +145,12 @@
         let (calls, tells) = (of_operation("call")?, of_operation("tell")?);
         let (mut bodies, mut statuses) = (BTreeMap::new(), BTreeSet::new());
         let empty = serde_json::Map::new();
-        let paths = documents[1]["paths"].as_object().ok_or("OpenAPI has no paths")?;
-        let named = paths.iter().map(|(path, of)| (path.clone(), &of["get"]["responses"]));
+        let paths = documents[1]["paths"]
+            .as_object()
+            .ok_or("OpenAPI has no paths")?;
+        let named = paths
+            .iter()
+            .map(|(path, of)| (path.clone(), &of["get"]["responses"]));
         let others = [("*".to_owned(), &documents[1]["components"]["responses"])];
         for (path, responses) in named.chain(others) {
             for (status, response) in responses.as_object().unwrap_or(&empty) {
@@ -145,51 +166,86 @@
             }
         }
         let (seen, strange) = (BTreeSet::new(), Vec::new());
-        Ok(Checker { documents, calls, tells, bodies, statuses, seen, strange, looked_at: 0 })
+        Ok(Checker {
+            documents,
+            calls,
+            tells,
+            bodies,
+            statuses,
+            seen,
+            strange,
+            looked_at: 0,
+        })
     }
 
     /// Whether a call is one that is described.
     pub fn allows_call(&self, call: &Value) -> bool {
-        self.calls.iter().filter(|d| d.validator.is_valid(call)).count() == 1
+        self.calls
+            .iter()
+            .filter(|d| d.validator.is_valid(call))
+            .count()
+            == 1
     }
 
     /// Takes what went over a socket.
     pub fn take(&mut self, exchange: &Exchange) {
         match exchange {
             Exchange::Text { call, text } => self.text(*call, text),
-            Exchange::Http { method, path, status, media, body } => {
-                self.answer(method, path, *status, media, body)
-            }
+            Exchange::Http {
+                method,
+                path,
+                status,
+                media,
+                body,
+            } => self.answer(method, path, *status, media, body),
         }
     }
 
     fn text(&mut self, call: bool, text: &str) {
         match serde_json::from_str(text) {
             Ok(Value::Array(members)) if !members.is_empty() => {
-                self.seen.insert(format!("batch of {}", if call { "calls" } else { "answers" }));
+                self.seen.insert(format!(
+                    "batch of {}",
+                    if call { "calls" } else { "answers" }
+                ));
                 members.iter().for_each(|member| self.message(call, member));
             }
             Ok(value) => self.message(call, &value),
             // What a player gets wrong is answered, not described.
             Err(_) if call => {}
-            Err(e) => self.strange.push(format!("the front sent no JSON ({e}): {text}")),
+            Err(e) => self
+                .strange
+                .push(format!("the front sent no JSON ({e}): {text}")),
         }
     }
 
     fn message(&mut self, call: bool, value: &Value) {
         self.looked_at += 1;
         let among = if call { &self.calls } else { &self.tells };
-        let fits: Vec<&Described> = among.iter().filter(|d| d.validator.is_valid(value)).collect();
+        let fits: Vec<&Described> = among
+            .iter()
+            .filter(|d| d.validator.is_valid(value))
+            .collect();
         let [fit] = fits[..] else {
             // A wrong call is the player's own; the answer to it is what is described.
             if !call || fits.len() > 1 {
                 let names: Vec<&str> = fits.iter().map(|d| d.name.as_str()).collect();
-                self.strange.push(format!("{} messages fit ({}): {value}", fits.len(), names.join(", ")));
+                self.strange.push(format!(
+                    "{} messages fit ({}): {value}",
+                    fits.len(),
+                    names.join(", ")
+                ));
             }
             return;
         };
         let mut seen = vec![fit.name.clone()];
-        walk(&self.documents[0], &fit.schema, Some(value), &fit.name, &mut seen);
+        walk(
+            &self.documents[0],
+            &fit.schema,
+            Some(value),
+            &fit.name,
+            &mut seen,
+        );
         self.seen.extend(seen);
     }
 
@@ -204,33 +260,59 @@
                 return;
             }
             let key = (place.to_owned(), status.clone(), media.to_owned());
-            let Some(described) = self.bodies.get(&key) else { continue };
+            let Some(described) = self.bodies.get(&key) else {
+                continue;
+            };
             let json = media.contains("json");
-            let value =
-                if json { serde_json::from_str(body).ok() } else { Some(Value::String(body.to_owned())) };
+            let value = if json {
+                serde_json::from_str(body).ok()
+            } else {
+                Some(Value::String(body.to_owned()))
+            };
             let Some(value) = value.filter(|v| described.validator.is_valid(v)) else {
-                self.strange.push(format!("{method} {path} {status}: the body is another: {body}"));
+                self.strange.push(format!(
+                    "{method} {path} {status}: the body is another: {body}"
+                ));
                 return;
             };
             let mut seen = vec![described.name.clone()];
-            walk(&self.documents[1], &described.schema, Some(&value), &described.name, &mut seen);
+            walk(
+                &self.documents[1],
+                &described.schema,
+                Some(&value),
+                &described.name,
+                &mut seen,
+            );
             self.seen.extend(seen);
             return;
         }
-        self.strange.push(format!("{method} {path}: status {status} with {media:?} is not described"));
+        self.strange.push(format!(
+            "{method} {path}: status {status} with {media:?} is not described"
+        ));
     }
 
     /// All that is described, as [`Verdict::unseen`] names it.
     pub fn items(&self) -> BTreeSet<String> {
-        let mut all: BTreeSet<String> = ["batch of calls", "batch of answers"].map(str::to_owned).into();
+        let mut all: BTreeSet<String> = ["batch of calls", "batch of answers"]
+            .map(str::to_owned)
+            .into();
         let of = |document: &Value, d: &Described, all: &mut BTreeSet<String>| {
             let mut items = vec![d.name.clone()];
             walk(document, &d.schema, None, &d.name, &mut items);
             all.extend(items);
         };
-        self.calls.iter().chain(&self.tells).for_each(|d| of(&self.documents[0], d, &mut all));
-        self.bodies.values().for_each(|d| of(&self.documents[1], d, &mut all));
-        all.extend(self.statuses.iter().map(|(path, status)| format!("GET {path} {status}")));
+        self.calls
+            .iter()
+            .chain(&self.tells)
+            .for_each(|d| of(&self.documents[0], d, &mut all));
+        self.bodies
+            .values()
+            .for_each(|d| of(&self.documents[1], d, &mut all));
+        all.extend(
+            self.statuses
+                .iter()
+                .map(|(path, status)| format!("GET {path} {status}")),
+        );
         all
     }
 
@@ -242,21 +324,33 @@
             item.strip_prefix(e.item.as_str())
                 .is_some_and(|rest| rest.is_empty() || rest.starts_with(['.', ' ', '[']))
         };
-        let unseen = items.difference(&self.seen).filter(|item| !exceptions.iter().any(|e| within(item, e)));
+        let unseen = items
+            .difference(&self.seen)
+            .filter(|item| !exceptions.iter().any(|e| within(item, e)));
         let needless = |e: &&Exception| {
             self.seen.contains(&e.item) || !items.contains(&e.item) || e.reason.trim().is_empty()
         };
         Verdict {
             strange: self.strange.clone(),
             unseen: unseen.cloned().collect(),
-            needless: exceptions.iter().filter(needless).map(|e| e.item.clone()).collect(),
+            needless: exceptions
+                .iter()
+                .filter(needless)
+                .map(|e| e.item.clone())
+                .collect(),
             looked_at: self.looked_at,
         }
     }
 }
 
 /// Names what a schema describes: each property, and each value of an enum. With an instance, only what it holds.
-fn walk(document: &Value, schema: &Value, instance: Option<&Value>, path: &str, out: &mut Vec<String>) {
+fn walk(
+    document: &Value,
+    schema: &Value,
+    instance: Option<&Value>,
+    path: &str,
+    out: &mut Vec<String>,
+) {
     if let Some(whole) = schema["$ref"].as_str().and_then(|r| at(document, r)) {
         walk(document, whole, instance, path, out);
     }
@@ -266,8 +360,17 @@
         }
     }
     // An enum's values: as such, or as constants of alternatives, each with a description of its own.
-    let constants = schema["oneOf"].as_array().into_iter().flatten().filter_map(|s| s.get("const"));
-    for value in schema["enum"].as_array().into_iter().flatten().chain(constants) {
+    let constants = schema["oneOf"]
+        .as_array()
+        .into_iter()
+        .flatten()
+        .filter_map(|s| s.get("const"));
+    for value in schema["enum"]
+        .as_array()
+        .into_iter()
+        .flatten()
+        .chain(constants)
+    {
         if instance.is_none_or(|i| i == value) {
             out.push(format!("{path} = {value}"));
         }
@@ -302,7 +405,10 @@
 
     fn told(text: &str) -> Verdict {
         let mut c = checker();
-        c.take(&Exchange::Text { call: false, text: text.to_owned() });
+        c.take(&Exchange::Text {
+            call: false,
+            text: text.to_owned(),
+        });
         c.verdict(&[])
     }
 
@@ -317,15 +423,27 @@
             ("-32001", "-32009"),
             ("\"id\":1,", ""),
             ("\"jsonrpc\":\"2.0\",", ""),
-            ("\"data\":{\"reason\":\"no_room\",\"retry_after_ms\":5}", "\"data\":{}"),
+            (
+                "\"data\":{\"reason\":\"no_room\",\"retry_after_ms\":5}",
+                "\"data\":{}",
+            ),
             ("{\"jsonrpc\"", "{\"more\":1,\"jsonrpc\""),
             ("{\"jsonrpc\"", "\"jsonrpc\""),
         ] {
             assert!(good.contains(from), "{from}");
-            assert_eq!(told(&good.replacen(from, to, 1)).strange.len(), 1, "{from} -> {to}");
+            assert_eq!(
+                told(&good.replacen(from, to, 1)).strange.len(),
+                1,
+                "{from} -> {to}"
+            );
         }
         // In a batch each is looked at.
-        assert_eq!(told(&format!("[{good},{}]", good.replace("no_room", "none"))).strange.len(), 1);
+        assert_eq!(
+            told(&format!("[{good},{}]", good.replace("no_room", "none")))
+                .strange
+                .len(),
+            1
+        );
     }
 
     #[test]
@@ -333,7 +451,13 @@
         let http = |method: &str, path: &str, status, media: &str, body: &str| {
             let mut c = checker();
             let (method, path) = (method.to_owned(), path.to_owned());
-            c.take(&Exchange::Http { method, path, status, media: media.to_owned(), body: body.to_owned() });
+            c.take(&Exchange::Http {
+                method,
+                path,
+                status,
+                media: media.to_owned(),
+                body: body.to_owned(),
+            });
             c.verdict(&[]).strange.len()
         };
         let health = r#"{"state":"ready","waiting":0,"playing":0,"connections":1}"#;
@@ -341,14 +465,39 @@
         let (json, details) = ("application/json", "application/problem+json");
         assert_eq!(http("GET", "/health", 200, json, health), 0);
         assert_eq!(http("GET", "/nothing", 404, details, problem), 0);
-        assert_eq!(http("DELETE", "/health", 405, details, problem), 1, "its status is another");
-        assert_eq!(http("DELETE", "/health", 405, details, &problem.replace("404", "405")), 0);
+        assert_eq!(
+            http("DELETE", "/health", 405, details, problem),
+            1,
+            "its status is another"
+        );
+        assert_eq!(
+            http(
+                "DELETE",
+                "/health",
+                405,
+                details,
+                &problem.replace("404", "405")
+            ),
+            0
+        );
         assert_eq!(http("GET", "/session", 101, "", ""), 0);
         for (method, path, status, media, body) in [
             ("GET", "/health", 201, json, health.to_owned()),
             ("GET", "/health", 200, "text/plain", health.to_owned()),
-            ("GET", "/health", 200, json, health.replace("ready", "asleep")),
-            ("GET", "/health", 200, json, health.replace("}", ",\"more\":1}")),
+            (
+                "GET",
+                "/health",
+                200,
+                json,
+                health.replace("ready", "asleep"),
+            ),
+            (
+                "GET",
+                "/health",
+                200,
+                json,
+                health.replace("}", ",\"more\":1}"),
+            ),
             ("GET", "/nothing", 404, json, problem.to_owned()),
             ("DELETE", "/health", 200, json, health.to_owned()),
             ("GET", "/session", 200, "", String::new()),
@@ -363,8 +512,7 @@
 
     #[test]
     fn what_is_described_and_was_never_exchanged_is_found_down_to_values() {
-        let end =
-            r#"{"jsonrpc":"2.0","method":"session.end","params":{"session":"s-1","reason":"finished"}}"#;
+        let end = r#"{"jsonrpc":"2.0","method":"session.end","params":{"session":"s-1","reason":"finished"}}"#;
         let unseen = told(end).unseen;
         assert!(!unseen.contains("end") && !unseen.contains("end.params.reason = \"finished\""));
         for item in [
@@ -386,8 +534,14 @@
     fn exceptions_excuse_what_they_name_and_must_be_needed() {
         let mut c = checker();
         let end = r#"{"jsonrpc":"2.0","method":"session.move","params":{"session":"s-1"}}"#;
-        c.take(&Exchange::Text { call: false, text: end.into() });
-        let exception = |item: &str, reason: &str| Exception { item: item.into(), reason: reason.into() };
+        c.take(&Exchange::Text {
+            call: false,
+            text: end.into(),
+        });
+        let exception = |item: &str, reason: &str| Exception {
+            item: item.into(),
+            reason: reason.into(),
+        };
         let all = [
             exception("end", "a reason"),
             exception("move", "it was seen"),
@@ -398,14 +552,18 @@
         assert!(!verdict.unseen.contains("end") && !verdict.unseen.contains("end.params.reason"));
         assert!(verdict.unseen.contains("close") && verdict.unseen.contains("closed"));
         assert_eq!(verdict.needless, ["move", "nothing of this name", "rung"]);
-        assert!(!verdict.agrees() && !Verdict::default().agrees(), "a run of nothing shows nothing");
+        assert!(
+            !verdict.agrees() && !Verdict::default().agrees(),
+            "a run of nothing shows nothing"
+        );
     }
 
     #[test]
     fn broken_documents_are_refused() {
         assert!(Checker::new("{", "{}").is_err());
         assert!(Checker::new(crate::PRESENT, "{}").is_err());
-        let dangling = crate::PRESENT.replace("#/components/messages/move", "#/components/messages/mvoe");
+        let dangling =
+            crate::PRESENT.replace("#/components/messages/move", "#/components/messages/mvoe");
         assert!(Checker::new(&dangling, crate::OPENAPI).is_err());
     }
 }
--- a/crates/api/src/cost.rs
+++ b/crates/api/src/cost.rs
@@ -32,8 +32,11 @@
     };
     let mut figures: [Vec<f64>; 4] = Default::default();
     for _ in 0..rounds.max(1) {
-        let (bare, codec, schema) =
-            (nanoseconds(calls, read), nanoseconds(calls, checked), nanoseconds(calls, by_schema));
+        let (bare, codec, schema) = (
+            nanoseconds(calls, read),
+            nanoseconds(calls, checked),
+            nanoseconds(calls, by_schema),
+        );
         for (all, one) in figures.iter_mut().zip([bare, codec, codec - bare, schema]) {
             all.push(one);
         }
@@ -44,7 +47,8 @@
         "added by the checks",
         "by the published schemas, reading not counted",
     ];
-    let mut text = String::from("| ns a call | least | median | most |\n| --- | --- | --- | --- |\n");
+    let mut text =
+        String::from("| ns a call | least | median | most |\n| --- | --- | --- | --- |\n");
     for (name, mut all) in names.into_iter().zip(figures) {
         all.sort_by(f64::total_cmp);
         let (least, median, most) = (all[0], all[all.len() / 2], all[all.len() - 1]);
--- a/crates/api/src/describe.rs
+++ b/crates/api/src/describe.rs
@@ -1,7 +1,9 @@
 //! The documents, made from the codec's own types.
 use crankpaddle_http::problem::Problem;
 use crankpaddle_session_api::answers::{FAILED, REFUSED, SUPERSEDED, UNKNOWN_SESSION};
-use crankpaddle_session_api::jsonrpc::{INVALID_PARAMS, INVALID_REQUEST, METHOD_NOT_FOUND, PARSE_ERROR};
+use crankpaddle_session_api::jsonrpc::{
+    INVALID_PARAMS, INVALID_REQUEST, METHOD_NOT_FOUND, PARSE_ERROR,
+};
 use crankpaddle_session_api::messages::{
     Closed, Ended, Failed, Moved, Opened, Refused, RungChanged, UnknownName,
 };
@@ -117,7 +119,9 @@
 }
 
 /// How far service is back after a start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema,
+)]
 #[serde(rename_all = "snake_case")]
 pub enum ServiceStage {
     /// Nothing is known.
@@ -285,7 +289,9 @@
 }
 
 fn generator() -> SchemaGenerator {
-    SchemaSettings::draft2020_12().with(|s| s.definitions_path = SCHEMAS.into()).into_generator()
+    SchemaSettings::draft2020_12()
+        .with(|s| s.definitions_path = SCHEMAS.into())
+        .into_generator()
 }
 
 fn schema<T: JsonSchema>(generator: &mut SchemaGenerator) -> Value {
@@ -296,7 +302,9 @@
 fn plain<T: JsonSchema>() -> Value {
     let mut schema = generator().into_root_schema_for::<T>().to_value();
     if let Some(fields) = schema.as_object_mut() {
-        ["$schema", "$defs", "components"].iter().for_each(|word| drop(fields.remove(*word)));
+        ["$schema", "$defs", "components"]
+            .iter()
+            .for_each(|word| drop(fields.remove(*word)));
     }
     schema
 }
@@ -330,20 +338,38 @@
 }
 
 fn call(name: &'static str, summary: &'static str, method: &str, params: Value) -> Message {
-    let properties = json!({"jsonrpc": version(), "id": id(), "method": {"const": method}, "params": params});
+    let properties =
+        json!({"jsonrpc": version(), "id": id(), "method": {"const": method}, "params": params});
     // Other members beside JSON-RPC's own are passed over, as they are by most of its libraries.
     let required = ["jsonrpc", "id", "method", "params"];
     let payload = json!({"type": "object", "required": required, "properties": properties});
-    Message { name, summary, way: Way::Call, payload }
+    Message {
+        name,
+        summary,
+        way: Way::Call,
+        payload,
+    }
 }
 
 fn result(name: &'static str, summary: &'static str, result: Value) -> Message {
-    let payload =
-        object(&["jsonrpc", "id", "result"], json!({"jsonrpc": version(), "id": id(), "result": result}));
-    Message { name, summary, way: Way::Tell, payload }
+    let payload = object(
+        &["jsonrpc", "id", "result"],
+        json!({"jsonrpc": version(), "id": id(), "result": result}),
+    );
+    Message {
+        name,
+        summary,
+        way: Way::Tell,
+        payload,
+    }
 }
 
-fn error(name: &'static str, summary: &'static str, code: i64, data: Option<(Value, bool)>) -> Message {
+fn error(
+    name: &'static str,
+    summary: &'static str,
+    code: i64,
+    data: Option<(Value, bool)>,
+) -> Message {
     let mut properties = json!({"code": {"const": code}, "message": {"type": "string"}});
     let mut required = vec!["code", "message"];
     if let Some((data, always)) = data {
@@ -351,9 +377,16 @@
         required.extend(always.then_some("data"));
     }
     let error = object(&required, properties);
-    let payload =
-        object(&["jsonrpc", "id", "error"], json!({"jsonrpc": version(), "id": id(), "error": error}));
-    Message { name, summary, way: Way::Tell, payload }
+    let payload = object(
+        &["jsonrpc", "id", "error"],
+        json!({"jsonrpc": version(), "id": id(), "error": error}),
+    );
+    Message {
+        name,
+        summary,
+        way: Way::Tell,
+        payload,
+    }
 }
 
 fn notification(name: &'static str, summary: &'static str, method: &str, params: Value) -> Message {
@@ -361,37 +394,101 @@
         &["jsonrpc", "method", "params"],
         json!({"jsonrpc": version(), "method": {"const": method}, "params": params}),
     );
-    Message { name, summary, way: Way::Tell, payload }
+    Message {
+        name,
+        summary,
+        way: Way::Tell,
+        payload,
+    }
 }
 
 fn messages(g: &mut SchemaGenerator) -> Vec<Message> {
     vec![
-        call("open", "Asks for a session, once for each key.", "session.open", schema::<Open>(g)),
+        call(
+            "open",
+            "Asks for a session, once for each key.",
+            "session.open",
+            schema::<Open>(g),
+        ),
         call(
             "resume",
             "Takes a session, or the wait for it, up again.",
             "session.resume",
             schema::<Resume>(g),
         ),
-        call("close", "Ends a session of this connection.", "session.close", schema::<Close>(g)),
+        call(
+            "close",
+            "Ends a session of this connection.",
+            "session.close",
+            schema::<Close>(g),
+        ),
         result("opened", "The session plays.", schema::<Opened>(g)),
-        result("closed", "The session is closed as asked.", schema::<Closed>(g)),
-        error("refused", "Refused: nothing of it ran.", REFUSED, Some((schema::<Refused>(g), true))),
-        error("failed", "Failed: an attempt may have run.", FAILED, Some((schema::<Failed>(g), true))),
-        error("superseded", "Another connection took the session up.", SUPERSEDED, None),
-        error("unknownSession", "No such session, or not this connection's.", UNKNOWN_SESSION, None),
+        result(
+            "closed",
+            "The session is closed as asked.",
+            schema::<Closed>(g),
+        ),
+        error(
+            "refused",
+            "Refused: nothing of it ran.",
+            REFUSED,
+            Some((schema::<Refused>(g), true)),
+        ),
+        error(
+            "failed",
+            "Failed: an attempt may have run.",
+            FAILED,
+            Some((schema::<Failed>(g), true)),
+        ),
+        error(
+            "superseded",
+            "Another connection took the session up.",
+            SUPERSEDED,
+            None,
+        ),
+        error(
+            "unknownSession",
+            "No such session, or not this connection's.",
+            UNKNOWN_SESSION,
+            None,
+        ),
         error("parseError", "The text is no JSON.", PARSE_ERROR, None),
-        error("invalidRequest", "The JSON is no request.", INVALID_REQUEST, None),
-        error("methodNotFound", "There is no such method.", METHOD_NOT_FOUND, None),
+        error(
+            "invalidRequest",
+            "The JSON is no request.",
+            INVALID_REQUEST,
+            None,
+        ),
+        error(
+            "methodNotFound",
+            "There is no such method.",
+            METHOD_NOT_FOUND,
+            None,
+        ),
         error(
             "invalidParams",
             "The method does not take these parameters; data where a name in them is not known.",
             INVALID_PARAMS,
             Some((schema::<UnknownName>(g), false)),
         ),
-        notification("rung", "The rung changes.", "session.rung", schema::<RungChanged>(g)),
-        notification("end", "The session is over.", "session.end", schema::<Ended>(g)),
-        notification("move", "The session moves.", "session.move", schema::<Moved>(g)),
+        notification(
+            "rung",
+            "The rung changes.",
+            "session.rung",
+            schema::<RungChanged>(g),
+        ),
+        notification(
+            "end",
+            "The session is over.",
+            "session.end",
+            schema::<Ended>(g),
+        ),
+        notification(
+            "move",
+            "The session moves.",
+            "session.move",
+            schema::<Moved>(g),
+        ),
     ]
 }
 
@@ -406,11 +503,16 @@
             "name": m.name, "summary": m.summary, "contentType": "application/json", "payload": m.payload,
         });
         named.insert(m.name.to_owned(), described);
-        in_channel.insert(m.name.to_owned(), json!({"$ref": format!("#/components/messages/{}", m.name)}));
+        in_channel.insert(
+            m.name.to_owned(),
+            json!({"$ref": format!("#/components/messages/{}", m.name)}),
+        );
     }
     let of = |way: Way| -> Vec<Value> {
         let there = messages.iter().filter(|m| m.way == way);
-        there.map(|m| json!({"$ref": format!("#/channels/session/messages/{}", m.name)})).collect()
+        there
+            .map(|m| json!({"$ref": format!("#/channels/session/messages/{}", m.name)}))
+            .collect()
     };
     let mut document = json!({
         "asyncapi": "3.0.0",
@@ -447,7 +549,11 @@
 /// The OpenAPI 3.1 document.
 pub fn openapi() -> Value {
     let mut g = generator();
-    let (health, traffic, problem) = (plain::<Health>(), schema::<Report>(&mut g), plain::<Problem>());
+    let (health, traffic, problem) = (
+        plain::<Health>(),
+        schema::<Report>(&mut g),
+        plain::<Problem>(),
+    );
     let members = schema::<Members>(&mut g);
     let fleet = schema::<Fleet>(&mut g);
     let body = |what: &str, media: &str, schema: &Value| json!({"description": what, "content": {media: {"schema": schema}}});
@@ -455,7 +561,9 @@
     let refusal = |status: u16, what: &str| {
         let mut own = problem.clone();
         own["properties"]["status"] = json!({"const": status});
-        let advised = own["properties"].as_object_mut().and_then(|p| p.remove("retry_after_ms"));
+        let advised = own["properties"]
+            .as_object_mut()
+            .and_then(|p| p.remove("retry_after_ms"));
         if let (Some(advised), (503, true)) = (advised, (status, what.contains("come back"))) {
             own["properties"]["retry_after_ms"] = advised;
         }
@@ -466,7 +574,8 @@
         own["properties"]["state"] = json!({"const": state});
         own
     };
-    let document = |what: &str, media: &str| json!({"description": what, "content": {media: {"schema": {}}}});
+    let document =
+        |what: &str, media: &str| json!({"description": what, "content": {media: {"schema": {}}}});
     let paths = json!({
         "/health": {"get": {
             "summary": "Whether the front takes players.",
@@ -573,21 +682,36 @@
     fn the_published_descriptions_are_those_of_the_codec() {
         let published = [crate::PRESENT, crate::PREVIOUS, crate::OPENAPI, crate::PAGE];
         for ((name, made), published) in files().into_iter().zip(published) {
-            assert!(made == published, "api/{name} is old: run crankpaddle api describe api");
+            assert!(
+                made == published,
+                "api/{name} is old: run crankpaddle api describe api"
+            );
         }
     }
 
     #[test]
     fn the_present_version_differs_from_the_previous_one_by_what_its_name_announces() {
-        let changes = diff(&crate::parsed(crate::PREVIOUS), &crate::parsed(crate::PRESENT)).unwrap();
-        let said: Vec<(String, Class)> =
-            changes.iter().map(|c| (format!("{}: {}", c.at, c.what), c.class)).collect();
+        let changes = diff(
+            &crate::parsed(crate::PREVIOUS),
+            &crate::parsed(crate::PRESENT),
+        )
+        .unwrap();
+        let said: Vec<(String, Class)> = changes
+            .iter()
+            .map(|c| (format!("{}: {}", c.at, c.what), c.class))
+            .collect();
         // Both are wider for what servers send: an old client may not know them, so they have a version of their own.
         assert_eq!(
             said,
             [
-                ("opened.result.hall: new, optional".to_owned(), Class::ForOldServers),
-                ("refused.error.data.reason: \"held_at_home\" is new".to_owned(), Class::ForOldServers),
+                (
+                    "opened.result.hall: new, optional".to_owned(),
+                    Class::ForOldServers
+                ),
+                (
+                    "refused.error.data.reason: \"held_at_home\" is new".to_owned(),
+                    Class::ForOldServers
+                ),
             ]
         );
     }
@@ -601,7 +725,11 @@
         )];
         for (name, text, made) in released {
             let changes = diff(&crate::parsed(text), &made).unwrap();
-            assert_eq!(changes, [], "{name} was released: what changes it wants a version of its own");
+            assert_eq!(
+                changes,
+                [],
+                "{name} was released: what changes it wants a version of its own"
+            );
         }
     }
 }
--- a/crates/api/src/diff.rs
+++ b/crates/api/src/diff.rs
@@ -59,8 +59,16 @@
 }
 
 /// Words of a schema that say nothing of what is allowed.
-const PROSE: [&str; 8] =
-    ["title", "description", "summary", "name", "contentType", "x-since", "format", "default"];
+const PROSE: [&str; 8] = [
+    "title",
+    "description",
+    "summary",
+    "name",
+    "contentType",
+    "x-since",
+    "format",
+    "default",
+];
 
 struct Comparison<'a> {
     old: &'a Value,
@@ -89,7 +97,11 @@
 /// # Errors
 /// They are not of one kind, or of none that is known.
 pub fn diff(old: &Value, new: &Value) -> Result<Vec<Change>, String> {
-    let mut c = Comparison { old, new, changes: Vec::new() };
+    let mut c = Comparison {
+        old,
+        new,
+        changes: Vec::new(),
+    };
     if old["asyncapi"].is_string() && new["asyncapi"].is_string() {
         for (operation, sender) in [("call", Sender::Client), ("tell", Sender::Server)] {
             c.messages(operation, sender);
@@ -105,7 +117,9 @@
 /// Follows references through a document.
 fn resolved<'v>(document: &'v Value, mut value: &'v Value) -> &'v Value {
     for _ in 0..16 {
-        let target = value["$ref"].as_str().and_then(|r| document.pointer(r.strip_prefix('#')?));
+        let target = value["$ref"]
+            .as_str()
+            .and_then(|r| document.pointer(r.strip_prefix('#')?));
         match target {
             Some(target) => value = target,
             None => break,
@@ -115,7 +129,11 @@
 }
 
 fn keys(value: &Value) -> BTreeSet<String> {
-    value.as_object().into_iter().flat_map(|o| o.keys().cloned()).collect()
+    value
+        .as_object()
+        .into_iter()
+        .flat_map(|o| o.keys().cloned())
+        .collect()
 }
 
 /// The values that an enum allows, as such or as constants of alternatives; `None` for what is no enum.
@@ -144,14 +162,24 @@
 
 impl Comparison<'_> {
     fn found(&mut self, sender: Sender, at: &str, set: Set, what: impl Into<String>) {
-        self.changes.push(Change { at: at.to_owned(), what: what.into(), class: class(sender, set) });
+        self.changes.push(Change {
+            at: at.to_owned(),
+            what: what.into(),
+            class: class(sender, set),
+        });
     }
 
     fn messages(&mut self, operation: &str, sender: Sender) {
         let named = |document: &Value| -> Vec<(String, Value)> {
             let listed = document["operations"][operation]["messages"].as_array();
             let each = listed.into_iter().flatten().map(|m| resolved(document, m));
-            each.map(|m| (m["name"].as_str().unwrap_or("").to_owned(), m["payload"].clone())).collect()
+            each.map(|m| {
+                (
+                    m["name"].as_str().unwrap_or("").to_owned(),
+                    m["payload"].clone(),
+                )
+            })
+            .collect()
         };
         let (before, after) = (named(self.old), named(self.new));
         for (name, payload) in &before {
@@ -160,7 +188,10 @@
                 None => self.found(sender, name, Set::Narrower, "the message is gone"),
             }
         }
-        for (name, _) in after.iter().filter(|(name, _)| !before.iter().any(|(other, _)| other == name)) {
+        for (name, _) in after
+            .iter()
+            .filter(|(name, _)| !before.iter().any(|(other, _)| other == name))
+        {
             self.found(sender, name, Set::Wider, "a new message");
         }
     }
@@ -170,15 +201,24 @@
         let (before, after) = (&old["paths"], &new["paths"]);
         for path in keys(before).union(&keys(after)) {
             match (before.get(path), after.get(path)) {
-                (Some(_), None) => self.found(Sender::Client, path, Set::Narrower, "the path is gone"),
+                (Some(_), None) => {
+                    self.found(Sender::Client, path, Set::Narrower, "the path is gone")
+                }
                 (None, Some(_)) => self.found(Sender::Client, path, Set::Wider, "a new path"),
                 (Some(was), Some(is)) => {
-                    self.responses(&format!("GET {path}"), &was["get"]["responses"], &is["get"]["responses"]);
+                    self.responses(
+                        &format!("GET {path}"),
+                        &was["get"]["responses"],
+                        &is["get"]["responses"],
+                    );
                 }
                 (None, None) => {}
             }
         }
-        let (was, is) = (&old["components"]["responses"], &new["components"]["responses"]);
+        let (was, is) = (
+            &old["components"]["responses"],
+            &new["components"]["responses"],
+        );
         self.responses("any request", was, is);
     }
 
@@ -186,7 +226,9 @@
         for status in keys(before).union(&keys(after)) {
             let place = format!("{at} {status}");
             match (before.get(status), after.get(status)) {
-                (Some(_), None) => self.found(Sender::Server, &place, Set::Narrower, "the status is gone"),
+                (Some(_), None) => {
+                    self.found(Sender::Server, &place, Set::Narrower, "the status is gone")
+                }
                 (None, Some(_)) => self.found(Sender::Server, &place, Set::Wider, "a new status"),
                 (Some(was), Some(is)) => {
                     let (was, is) = (&was["content"], &is["content"]);
@@ -199,7 +241,12 @@
                                 let what = format!("no {media} any more");
                                 self.found(Sender::Server, &place, Set::Narrower, what);
                             }
-                            _ => self.found(Sender::Server, &place, Set::Wider, format!("{media} too")),
+                            _ => self.found(
+                                Sender::Server,
+                                &place,
+                                Set::Wider,
+                                format!("{media} too"),
+                            ),
                         }
                     }
                 }
@@ -209,7 +256,10 @@
     }
 
     fn schema(&mut self, sender: Sender, at: &str, before: &Value, after: &Value) {
-        let (before, after) = (resolved(self.old, before).clone(), resolved(self.new, after).clone());
+        let (before, after) = (
+            resolved(self.old, before).clone(),
+            resolved(self.new, after).clone(),
+        );
         if let (Some(was), Some(is)) = (values(&before), values(&after)) {
             for value in was.iter().filter(|v| !is.contains(v)) {
                 self.found(sender, at, Set::Narrower, format!("{value} is gone"));
@@ -221,14 +271,22 @@
         }
         let (was, is) = (list(&before["type"]), list(&after["type"]));
         if was.is_empty() != is.is_empty() {
-            let set = if is.is_empty() { Set::Wider } else { Set::Narrower };
+            let set = if is.is_empty() {
+                Set::Wider
+            } else {
+                Set::Narrower
+            };
             self.found(sender, at, set, "any type is allowed on one side only");
         } else {
             let gone: Vec<&Value> = was.iter().filter(|t| !is.contains(t)).collect();
             let new: Vec<&Value> = is.iter().filter(|t| !was.contains(t)).collect();
             match (gone.is_empty(), new.is_empty()) {
-                (false, false) => self.found(sender, at, Set::Other, format!("was {gone:?}, is {new:?}")),
-                (false, true) => self.found(sender, at, Set::Narrower, format!("no {gone:?} any more")),
+                (false, false) => {
+                    self.found(sender, at, Set::Other, format!("was {gone:?}, is {new:?}"))
+                }
+                (false, true) => {
+                    self.found(sender, at, Set::Narrower, format!("no {gone:?} any more"))
+                }
                 (true, false) => self.found(sender, at, Set::Wider, format!("{new:?} too")),
                 (true, true) => {}
             }
@@ -236,30 +294,61 @@
         self.bounds(sender, at, &before, &after);
         self.properties(sender, at, &before, &after);
         if before["items"].is_object() && after["items"].is_object() {
-            self.schema(sender, &format!("{at}[]"), &before["items"], &after["items"]);
+            self.schema(
+                sender,
+                &format!("{at}[]"),
+                &before["items"],
+                &after["items"],
+            );
         }
-        let known = ["type", "properties", "required", "additionalProperties", "items", "minimum", "maximum"];
-        let known = known.iter().chain(&["minLength", "maxLength", "$ref"]).chain(&PROSE);
+        let known = [
+            "type",
+            "properties",
+            "required",
+            "additionalProperties",
+            "items",
+            "minimum",
+            "maximum",
+        ];
+        let known = known
+            .iter()
+            .chain(&["minLength", "maxLength", "$ref"])
+            .chain(&PROSE);
         let known: BTreeSet<&str> = known.copied().collect();
         for word in keys(&before).union(&keys(&after)) {
             let (was, is) = (before.get(word), after.get(word));
             if !known.contains(word.as_str()) && was != is {
                 let shown = |v: Option<&Value>| v.map_or("nothing".to_owned(), Value::to_string);
-                let what = format!("{word} was {}, is {}: taken as breaking", shown(was), shown(is));
+                let what = format!(
+                    "{word} was {}, is {}: taken as breaking",
+                    shown(was),
+                    shown(is)
+                );
                 self.found(sender, at, Set::Other, what);
             }
         }
     }
 
     fn bounds(&mut self, sender: Sender, at: &str, before: &Value, after: &Value) {
-        for (word, least) in
-            [("minimum", true), ("minLength", true), ("maximum", false), ("maxLength", false)]
-        {
-            let open = if least { f64::NEG_INFINITY } else { f64::INFINITY };
+        for (word, least) in [
+            ("minimum", true),
+            ("minLength", true),
+            ("maximum", false),
+            ("maxLength", false),
+        ] {
+            let open = if least {
+                f64::NEG_INFINITY
+            } else {
+                f64::INFINITY
+            };
             let bound = |v: &Value| v[word].as_f64().unwrap_or(open);
             let (was, is) = (bound(before), bound(after));
             if was != is {
-                let set = if (is < was) == least { Set::Wider } else { Set::Narrower };
+                let set = if (is < was) == least {
+                    Set::Wider
+                } else {
+                    Set::Narrower
+                };
                 self.found(sender, at, set, format!("{word} was {was}, is {is}"));
             }
         }
@@ -281,8 +370,12 @@
             match (was.get(name), is.get(name)) {
                 (Some(w), Some(i)) => {
                     match (required(before, name), required(after, name)) {
-                        (false, true) => self.found(sender, &place, Set::Narrower, "must be there now"),
-                        (true, false) => self.found(sender, &place, Set::Wider, "may be missing now"),
+                        (false, true) => {
+                            self.found(sender, &place, Set::Narrower, "must be there now")
+                        }
+                        (true, false) => {
+                            self.found(sender, &place, Set::Wider, "may be missing now")
+                        }
                         _ => {}
                     }
                     self.schema(sender, &place, w, i);
@@ -298,7 +391,11 @@
                         sender,
                         &place,
                         set,
-                        if must { "a needed property is gone" } else { "is gone" },
+                        if must {
+                            "a needed property is gone"
+                        } else {
+                            "is gone"
+                        },
                     );
                 }
                 (None, Some(_)) => {
@@ -312,7 +409,11 @@
                         sender,
                         &place,
                         set,
-                        if must { "new, and must be there" } else { "new, optional" },
+                        if must {
+                            "new, and must be there"
+                        } else {
+                            "new, optional"
+                        },
                     );
                 }
                 (None, None) => {}
@@ -337,7 +438,11 @@
     }
 
     fn classes(operation: &str, old: &Value, new: &Value) -> Vec<Class> {
-        let changes = diff(&document(operation, old.clone()), &document(operation, new.clone())).unwrap();
+        let changes = diff(
+            &document(operation, old.clone()),
+            &document(operation, new.clone()),
+        )
+        .unwrap();
         changes.into_iter().map(|c| c.class).collect()
     }
 
@@ -350,19 +455,69 @@
         let must = object(&["a", "b"], json!({"a": text, "b": number}));
         let values = |v: &[&str]| json!({"enum": v});
         let documented = |v: &[&str]| {
-            let each: Vec<Value> =
-                v.iter().map(|v| json!({"const": v, "description": format!("about {v}")})).collect();
+            let each: Vec<Value> = v
+                .iter()
+                .map(|v| json!({"const": v, "description": format!("about {v}")}))
+                .collect();
             json!({"oneOf": each})
         };
         for (what, old, new, called, told) in [
-            ("an optional property is added", &base, &with, ForOldClients, ForOldServers),
-            ("an optional property is gone", &with, &base, ForOldServers, ForOldClients),
-            ("a needed property is added", &base, &must, Breaking, Breaking),
-            ("a needed property is gone", &must, &base, Breaking, Breaking),
-            ("an optional property is needed now", &with, &must, ForOldServers, ForOldClients),
-            ("a needed property is optional now", &must, &with, ForOldClients, ForOldServers),
-            ("a value is added", &values(&["x"]), &values(&["x", "y"]), ForOldClients, ForOldServers),
-            ("a value is gone", &values(&["x", "y"]), &values(&["x"]), ForOldServers, ForOldClients),
+            (
+                "an optional property is added",
+                &base,
+                &with,
+                ForOldClients,
+                ForOldServers,
+            ),
+            (
+                "an optional property is gone",
+                &with,
+                &base,
+                ForOldServers,
+                ForOldClients,
+            ),
+            (
+                "a needed property is added",
+                &base,
+                &must,
+                Breaking,
+                Breaking,
+            ),
+            (
+                "a needed property is gone",
+                &must,
+                &base,
+                Breaking,
+                Breaking,
+            ),
+            (
+                "an optional property is needed now",
+                &with,
+                &must,
+                ForOldServers,
+                ForOldClients,
+            ),
+            (
+                "a needed property is optional now",
+                &must,
+                &with,
+                ForOldClients,
+                ForOldServers,
+            ),
+            (
+                "a value is added",
+                &values(&["x"]),
+                &values(&["x", "y"]),
+                ForOldClients,
+                ForOldServers,
+            ),
+            (
+                "a value is gone",
+                &values(&["x", "y"]),
+                &values(&["x"]),
+                ForOldServers,
+                ForOldClients,
+            ),
             (
                 "a documented value is added",
                 &documented(&["x"]),
@@ -371,7 +526,13 @@
                 ForOldServers,
             ),
             ("another type", &text, &number, Breaking, Breaking),
-            ("a type more", &text, &json!({"type": ["string", "null"]}), ForOldClients, ForOldServers),
+            (
+                "a type more",
+                &text,
+                &json!({"type": ["string", "null"]}),
+                ForOldClients,
+                ForOldServers,
+            ),
             (
                 "a longer text",
                 &json!({"type": "string", "maxLength": 5}),
@@ -386,7 +547,13 @@
                 ForOldServers,
                 ForOldClients,
             ),
-            ("another constant", &json!({"const": 1}), &json!({"const": 2}), Breaking, Breaking),
+            (
+                "another constant",
+                &json!({"const": 1}),
+                &json!({"const": 2}),
+                Breaking,
+                Breaking,
+            ),
             (
                 "a pattern that nobody here reads",
                 &text,
@@ -409,17 +576,27 @@
         let none = document("nobody", json!({}));
         let call = document("call", json!({}));
         let of = |old: &Value, new: &Value| -> Vec<Class> {
-            diff(old, new).unwrap().into_iter().map(|c| c.class).collect()
+            diff(old, new)
+                .unwrap()
+                .into_iter()
+                .map(|c| c.class)
+                .collect()
         };
         assert_eq!(of(&none, &call), [Class::ForOldClients]);
         assert_eq!(of(&call, &none), [Class::ForOldServers]);
-        assert_eq!(of(&none, &document("tell", json!({}))), [Class::ForOldServers]);
+        assert_eq!(
+            of(&none, &document("tell", json!({}))),
+            [Class::ForOldServers]
+        );
         let http = |paths: Value| json!({"openapi": "3.1.0", "paths": paths});
         let get = |statuses: Value| json!({"/a": {"get": {"responses": statuses}}});
         let one = http(get(json!({"200": {}})));
         assert_eq!(of(&http(json!({})), &one), [Class::ForOldClients]);
         assert_eq!(of(&one, &http(json!({}))), [Class::ForOldServers]);
-        assert_eq!(of(&one, &http(get(json!({"200": {}, "503": {}})))), [Class::ForOldServers]);
+        assert_eq!(
+            of(&one, &http(get(json!({"200": {}, "503": {}})))),
+            [Class::ForOldServers]
+        );
         assert!(diff(&one, &call).is_err());
     }
 }
--- a/crates/api/src/page.rs
+++ b/crates/api/src/page.rs
@@ -3,7 +3,10 @@
 use std::fmt::Write;
 
 fn escaped(text: &str) -> String {
-    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;").replace('"', "&quot;")
+    text.replace('&', "&amp;")
+        .replace('<', "&lt;")
+        .replace('>', "&gt;")
+        .replace('"', "&quot;")
 }
 
 /// What a value may be, in a few words; a reference is a link.
@@ -18,25 +21,39 @@
     if schema["items"].is_object() {
         return format!("list of {}", kind(&schema["items"]));
     }
-    let alternatives = ["anyOf", "oneOf"].iter().filter_map(|word| schema[word].as_array()).flatten();
+    let alternatives = ["anyOf", "oneOf"]
+        .iter()
+        .filter_map(|word| schema[word].as_array())
+        .flatten();
     let kinds: Vec<String> = alternatives.map(kind).collect();
     if !kinds.is_empty() {
         return kinds.join(" or ");
     }
     match &schema["type"] {
         Value::String(name) => escaped(name),
-        Value::Array(names) => {
-            names.iter().filter_map(Value::as_str).map(escaped).collect::<Vec<_>>().join(" or ")
-        }
+        Value::Array(names) => names
+            .iter()
+            .filter_map(Value::as_str)
+            .map(escaped)
+            .collect::<Vec<_>>()
+            .join(" or "),
         _ => "any".to_owned(),
     }
 }
 
 fn fields(out: &mut String, schema: &Value, depth: usize) {
-    let required: Vec<&str> =
-        schema["required"].as_array().into_iter().flatten().filter_map(Value::as_str).collect();
+    let required: Vec<&str> = schema["required"]
+        .as_array()
+        .into_iter()
+        .flatten()
+        .filter_map(Value::as_str)
+        .collect();
     for (name, inner) in schema["properties"].as_object().into_iter().flatten() {
-        let must = if required.contains(&name.as_str()) { "" } else { ", optional" };
+        let must = if required.contains(&name.as_str()) {
+            ""
+        } else {
+            ", optional"
+        };
         let words = escaped(inner["description"].as_str().unwrap_or(""));
         let _ = writeln!(
             out,
@@ -66,8 +83,13 @@
 }
 
 fn section(out: &mut String, title: &str, words: &str, anchor: &str) {
-    let _ =
-        writeln!(out, "<h3 id=\"{}\">{}</h3>\n<p>{}</p>", escaped(anchor), escaped(title), escaped(words));
+    let _ = writeln!(
+        out,
+        "<h3 id=\"{}\">{}</h3>\n<p>{}</p>",
+        escaped(anchor),
+        escaped(title),
+        escaped(words)
+    );
 }
 
 /// The page for an AsyncAPI and an OpenAPI document.
@@ -80,35 +102,68 @@
     );
     let text = |v: &Value| v.as_str().unwrap_or("").to_owned();
     let info = &asyncapi["info"];
-    let _ = writeln!(out, "<h1>{} {}</h1>", escaped(&text(&info["title"])), escaped(&text(&info["version"])));
+    let _ = writeln!(
+        out,
+        "<h1>{} {}</h1>",
+        escaped(&text(&info["title"])),
+        escaped(&text(&info["version"]))
+    );
     let _ = writeln!(out, "<p>{}</p>", escaped(&text(&info["description"])));
-    for (operation, title) in [("call", "What players call"), ("tell", "What fronts answer and tell")] {
+    for (operation, title) in [
+        ("call", "What players call"),
+        ("tell", "What fronts answer and tell"),
+    ] {
         let _ = writeln!(out, "<h2>{title}</h2>");
-        for listed in asyncapi["operations"][operation]["messages"].as_array().into_iter().flatten() {
-            let name = text(&listed["$ref"]).rsplit('/').next().unwrap_or("").to_owned();
+        for listed in asyncapi["operations"][operation]["messages"]
+            .as_array()
+            .into_iter()
+            .flatten()
+        {
+            let name = text(&listed["$ref"])
+                .rsplit('/')
+                .next()
+                .unwrap_or("")
+                .to_owned();
             let message = &asyncapi["components"]["messages"][&name];
             section(&mut out, &name, &text(&message["summary"]), &name);
             table(&mut out, &message["payload"]);
         }
     }
     out.push_str("<h2>HTTP</h2>\n");
-    let _ = writeln!(out, "<p>{}</p>", escaped(&text(&openapi["info"]["description"])));
+    let _ = writeln!(
+        out,
+        "<p>{}</p>",
+        escaped(&text(&openapi["info"]["description"]))
+    );
     for (path, of) in openapi["paths"].as_object().into_iter().flatten() {
-        section(&mut out, &format!("GET {path}"), &text(&of["get"]["summary"]), path);
+        section(
+            &mut out,
+            &format!("GET {path}"),
+            &text(&of["get"]["summary"]),
+            path,
+        );
         out.push_str("<table>\n");
         for (status, response) in of["get"]["responses"].as_object().into_iter().flatten() {
             let media = response["content"].as_object().into_iter().flatten();
-            let bodies: Vec<String> =
-                media.map(|(m, of)| format!("{}: {}", escaped(m), kind(&of["schema"]))).collect();
+            let bodies: Vec<String> = media
+                .map(|(m, of)| format!("{}: {}", escaped(m), kind(&of["schema"])))
+                .collect();
             let words = escaped(&text(&response["description"]));
-            let _ =
-                writeln!(out, "<tr><td>{status}</td><td>{words}</td><td>{}</td></tr>", bodies.join("<br>"));
+            let _ = writeln!(
+                out,
+                "<tr><td>{status}</td><td>{words}</td><td>{}</td></tr>",
+                bodies.join("<br>")
+            );
         }
         out.push_str("</table>\n");
     }
     out.push_str("<h2>Types</h2>\n");
     for document in [asyncapi, openapi] {
-        for (name, schema) in document["components"]["schemas"].as_object().into_iter().flatten() {
+        for (name, schema) in document["components"]["schemas"]
+            .as_object()
+            .into_iter()
+            .flatten()
+        {
             section(&mut out, name, &text(&schema["description"]), name);
             table(&mut out, schema);
         }
@@ -129,14 +184,22 @@
         for outside in ["http://", "https://", "<script", "src=", "@import", "url("] {
             assert!(!page.contains(outside), "{outside}");
         }
-        for name in asyncapi["components"]["messages"].as_object().unwrap().keys() {
+        for name in asyncapi["components"]["messages"]
+            .as_object()
+            .unwrap()
+            .keys()
+        {
             assert!(page.contains(&format!("<h3 id=\"{name}\">")), "{name}");
         }
         for path in openapi["paths"].as_object().unwrap().keys() {
             assert!(page.contains(&format!("GET {path}</h3>")), "{path}");
         }
         // Links lead somewhere.
-        for link in page.split("href=\"#").skip(1).filter_map(|rest| rest.split('"').next()) {
+        for link in page
+            .split("href=\"#")
+            .skip(1)
+            .filter_map(|rest| rest.split('"').next())
+        {
             assert!(page.contains(&format!("id=\"{link}\"")), "{link}");
         }
     }
--- a/crates/api/tests/codec.rs
+++ b/crates/api/tests/codec.rs
@@ -11,13 +11,17 @@
 /// The front's verdict: a call with an id whose method takes its parameters.
 fn codec_takes(text: &str) -> bool {
     match jsonrpc::read(text) {
-        Message::One(Ok(call)) => call.id.is_some() && Method::of(&call.method, call.params).is_ok(),
+        Message::One(Ok(call)) => {
+            call.id.is_some() && Method::of(&call.method, call.params).is_ok()
+        }
         _ => false,
     }
 }
 
 fn resolved<'v>(document: &'v Value, schema: &'v Value) -> &'v Value {
-    let target = schema["$ref"].as_str().and_then(|r| document.pointer(&r[1..]));
+    let target = schema["$ref"]
+        .as_str()
+        .and_then(|r| document.pointer(&r[1..]));
     target.map_or(schema, |target| resolved(document, target))
 }
 
@@ -27,7 +31,9 @@
     } else {
         rng.random_range(least..=most)
     };
-    (0..length).map(|_| ['a', '0', '-', '\u{e9}', '\u{1f600}', ' '][rng.random_range(0..6)]).collect()
+    (0..length)
+        .map(|_| ['a', '0', '-', '\u{e9}', '\u{1f600}', ' '][rng.random_range(0..6)])
+        .collect()
 }
 
 /// A value that a schema allows.
@@ -53,7 +59,12 @@
             }
             Value::Object(fields)
         }
-        "string" => text(rng, number("minLength", 0) as usize, number("maxLength", 20) as usize).into(),
+        "string" => text(
+            rng,
+            number("minLength", 0) as usize,
+            number("maxLength", 20) as usize,
+        )
+        .into(),
         "integer" | "number" => {
             let (least, most) = (number("minimum", 0), number("maximum", 1000));
             let n = if rng.random_bool(0.3) {
@@ -94,7 +105,9 @@
             2 => json!([s]),
             _ => json!(s.to_uppercase()),
         },
-        Value::Bool(b) => [json!(b.to_string()), json!(u8::from(*b))][rng.random_range(0..2)].clone(),
+        Value::Bool(b) => {
+            [json!(b.to_string()), json!(u8::from(*b))][rng.random_range(0..2)].clone()
+        }
         _ => json!({}),
     };
     if rng.random_bool(0.25) {
@@ -116,7 +129,9 @@
         1 => drop(fields.insert("unknown".into(), json!(1))),
         2 if rng.random_bool(0.3) => *value = Value::Array(fields.values().cloned().collect()),
         _ if !names.is_empty() => {
-            let inner = fields.get_mut(&names[rng.random_range(0..names.len())]).unwrap();
+            let inner = fields
+                .get_mut(&names[rng.random_range(0..names.len())])
+                .unwrap();
             changed(inner, rng);
         }
         _ => {}
@@ -144,7 +159,10 @@
             // As it was read: a text's fraction at the end of what a float holds may be lost in reading it.
             let read: Value = serde_json::from_str(&said).unwrap();
             let (codec, described) = (codec_takes(&said), checker.allows_call(&read));
-            assert_eq!(codec, described, "codec {codec}, description {described}: {said}");
+            assert_eq!(
+                codec, described,
+                "codec {codec}, description {described}: {said}"
+            );
             *(if codec { &mut taken } else { &mut refused }) += 1;
         }
         assert!(
--- a/crates/cli/src/api.rs
+++ b/crates/cli/src/api.rs
@@ -57,7 +57,10 @@
 }
 
 fn bad(path: &Path, what: impl std::fmt::Display) -> Failure {
-    Failure { what: format!("{}: {what}", path.display()), status: BAD_FILE }
+    Failure {
+        what: format!("{}: {what}", path.display()),
+        status: BAD_FILE,
+    }
 }
 
 fn read(path: &Path) -> Result<String, Failure> {
@@ -81,26 +84,49 @@
             Ok(ExitCode::SUCCESS)
         }
         Api::Diff { old, new } => {
-            let changes =
-                diff::diff(&json(&old)?, &json(&new)?).map_err(|what| Failure { what, status: BAD_FILE })?;
+            let changes = diff::diff(&json(&old)?, &json(&new)?).map_err(|what| Failure {
+                what,
+                status: BAD_FILE,
+            })?;
             changes.iter().for_each(|change| println!("{change}"));
-            let kept =
-                |c: &diff::Change| matches!(c.class, diff::Class::Compatible | diff::Class::ForOldClients);
+            let kept = |c: &diff::Change| {
+                matches!(
+                    c.class,
+                    diff::Class::Compatible | diff::Class::ForOldClients
+                )
+            };
             println!("{} changes", changes.len());
-            Ok(if changes.iter().all(kept) { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+            Ok(if changes.iter().all(kept) {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            })
         }
         Api::Cost { rounds, calls } => {
-            print!("{}", cost::run(rounds, calls).map_err(|what| Failure { what, status: 1 })?);
+            print!(
+                "{}",
+                cost::run(rounds, calls).map_err(|what| Failure { what, status: 1 })?
+            );
             Ok(ExitCode::SUCCESS)
         }
-        Api::Check { traffic, asyncapi, openapi, exceptions, part } => {
+        Api::Check {
+            traffic,
+            asyncapi,
+            openapi,
+            exceptions,
+            part,
+        } => {
             let checker = Checker::new(&read(&asyncapi)?, &read(&openapi)?);
-            let mut checker = checker.map_err(|what| Failure { what, status: BAD_FILE })?;
-            let lines = BufReader::new(fs::File::open(&traffic).map_err(|e| bad(&traffic, e))?).lines();
+            let mut checker = checker.map_err(|what| Failure {
+                what,
+                status: BAD_FILE,
+            })?;
+            let lines =
+                BufReader::new(fs::File::open(&traffic).map_err(|e| bad(&traffic, e))?).lines();
             for (n, line) in lines.enumerate() {
                 let line = line.map_err(|e| bad(&traffic, e))?;
-                let exchange: Exchange =
-                    serde_json::from_str(&line).map_err(|e| bad(&traffic, format!("line {}: {e}", n + 1)))?;
+                let exchange: Exchange = serde_json::from_str(&line)
+                    .map_err(|e| bad(&traffic, format!("line {}: {e}", n + 1)))?;
                 checker.take(&exchange);
             }
             let excused: Vec<Exception> = match &exceptions {
@@ -113,7 +139,11 @@
                 verdict.needless.clear();
             }
             println!("{verdict}");
-            Ok(if verdict.agrees() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+            Ok(if verdict.agrees() {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            })
         }
     }
 }
--- a/crates/cli/src/front.rs
+++ b/crates/cli/src/front.rs
@@ -12,7 +12,9 @@
 fn reload(daemon: &Daemon, path: &Path) {
     let taken = crankpaddle_config::load(path).map_err(|e| e.to_string());
     match taken.and_then(|config| daemon.change_budgets(config)) {
-        Ok(()) => tracing::info!(path = %path.display(), "reloaded: budgets; all else waits for a restart"),
+        Ok(()) => {
+            tracing::info!(path = %path.display(), "reloaded: budgets; all else waits for a restart")
+        }
         Err(what) => tracing::error!(path = %path.display(), what, "not reloaded"),
     }
 }
@@ -25,7 +27,11 @@
     let daemon = Daemon::start(config).map_err(|e| Failure::advised(&e))?;
     let daemon = Arc::new(daemon);
     let (reloaded, ended) = (daemon.clone(), daemon.clone());
-    running::follow(signals, move || reload(&reloaded, &path), move || ended.drain());
+    running::follow(
+        signals,
+        move || reload(&reloaded, &path),
+        move || ended.drain(),
+    );
     running::announce(daemon.address());
     daemon.wait();
     Ok(ExitCode::SUCCESS)
--- a/crates/cli/src/lab/fleet.rs
+++ b/crates/cli/src/lab/fleet.rs
@@ -69,13 +69,19 @@
 const MOST_PROCESSES: u32 = 100;
 
 fn read_case(name: &str) -> Result<Case, Failure> {
-    let built_in = CASES.iter().find(|(known, _)| *known == name).map(|(_, text)| (*text).to_owned());
+    let built_in = CASES
+        .iter()
+        .find(|(known, _)| *known == name)
+        .map(|(_, text)| (*text).to_owned());
     let text = match built_in {
         Some(text) => text,
         None => std::fs::read_to_string(name).map_err(|e| {
             let known: Vec<&str> = CASES.iter().map(|(name, _)| *name).collect();
             let what = format!("{name}: {e}; the built-in cases are {}", known.join(", "));
-            Failure { what, status: BAD_FILE }
+            Failure {
+                what,
+                status: BAD_FILE,
+            }
         })?,
     };
     crankpaddle_fleet_net::parse(&text).map_err(|p| wrong(name, &p))
@@ -89,27 +95,56 @@
         return Ok(ExitCode::SUCCESS);
     }
     let case = read_case(args.name.as_deref().unwrap_or_default())?;
-    let how = if args.virtually { ", in virtual time" } else { "" };
-    eprintln!("fleet {}: seed {}, {}{how}", case.name, args.seed, case.what);
+    let how = if args.virtually {
+        ", in virtual time"
+    } else {
+        ""
+    };
+    eprintln!(
+        "fleet {}: seed {}, {}{how}",
+        case.name, args.seed, case.what
+    );
     if args.virtually {
         let mut net = Net::of(&case, args.fronts as usize, args.seed);
-        let played = crankpaddle_fleet_net::play(&case, &mut net)
-            .map_err(|what| Failure { what, status: BAD_FILE })?;
+        let played = crankpaddle_fleet_net::play(&case, &mut net).map_err(|what| Failure {
+            what,
+            status: BAD_FILE,
+        })?;
         let (kept, all) = tell(&played);
-        println!("fleet {}: fronts {}, claims kept {kept}/{all}", case.name, args.fronts);
-        return Ok(if kept == all { ExitCode::SUCCESS } else { ExitCode::FAILURE });
+        println!(
+            "fleet {}: fronts {}, claims kept {kept}/{all}",
+            case.name, args.fronts
+        );
+        return Ok(if kept == all {
+            ExitCode::SUCCESS
+        } else {
+            ExitCode::FAILURE
+        });
     }
     processes(&case, args)
 }
 
 /// Plays two builds against each other.
-pub(super) fn pairs(old: PathBuf, new: Option<PathBuf>, args: FleetArgs) -> Result<ExitCode, Failure> {
-    run(&FleetArgs { old: Some(old), new, ..args })
+pub(super) fn pairs(
+    old: PathBuf,
+    new: Option<PathBuf>,
+    args: FleetArgs,
+) -> Result<ExitCode, Failure> {
+    run(&FleetArgs {
+        old: Some(old),
+        new,
+        ..args
+    })
 }
 
 fn tell(played: &Played) -> (usize, usize) {
     for claim in &played.claims {
-        eprintln!("{}: {}: {}", if claim.kept { "kept" } else { "BROKEN" }, claim.what, claim.measured);
+        eprintln!(
+            "{}: {}: {}",
+            if claim.kept { "kept" } else { "BROKEN" },
+            claim.what,
+            claim.measured
+        );
     }
     let (datagrams, bytes) = played.sent;
     eprintln!("sent by one front at most: {datagrams:.1} datagrams, {bytes:.0} bytes a second");
@@ -134,12 +169,19 @@
 }
 
 fn play_once(case: &Case, args: &FleetArgs, memory: Memory) -> Result<ExitCode, Failure> {
-    let cannot = |what: &str| Failure { what: format!("{}: {what}", case.name), status: BAD_FILE };
+    let cannot = |what: &str| Failure {
+        what: format!("{}: {what}", case.name),
+        status: BAD_FILE,
+    };
     if args.fronts > MOST_PROCESSES {
-        return Err(cannot("up to 100 fronts can be processes here; more in virtual time"));
+        return Err(cannot(
+            "up to 100 fronts can be processes here; more in virtual time",
+        ));
     }
     if case.needs_board() {
-        return Err(cannot("it writes on the board, which no front does yet; play it with --virtual"));
+        return Err(cannot(
+            "it writes on the board, which no front does yet; play it with --virtual",
+        ));
     }
     crankpaddle_net::start(None);
     let mut day = read_day(&case.day)?;
@@ -165,8 +207,16 @@
     }
     let (kept, all) = tell(&outcome.played);
     let verdict = &outcome.verdict;
-    verdict.breaches.iter().take(20).for_each(|b| eprintln!("rule {}: {}", b.rule, b.what));
-    outcome.faults.iter().take(20).for_each(|what| eprintln!("fault: {what}"));
+    verdict
+        .breaches
+        .iter()
+        .take(20)
+        .for_each(|b| eprintln!("rule {}: {}", b.rule, b.what));
+    outcome
+        .faults
+        .iter()
+        .take(20)
+        .for_each(|what| eprintln!("fault: {what}"));
     eprintln!(
         "sessions: {} asked for, {} answered once, {} played, {} refused, {} failed",
         verdict.sessions, verdict.answered_once, verdict.played, verdict.refused, verdict.failed
--- a/crates/cli/src/lab/mod.rs
+++ b/crates/cli/src/lab/mod.rs
@@ -59,7 +59,9 @@
         records: PathBuf,
     },
     /// Run the stand-in servers and the list service of a day by hand, without faults; prints what a front needs.
-    #[command(after_help = "Then start a front by hand with the printed list service in its configuration.")]
+    #[command(
+        after_help = "Then start a front by hand with the printed list service in its configuration."
+    )]
     Servers {
         /// The day whose fleet it is.
         #[arg(default_value = "trouble")]
@@ -177,23 +179,59 @@
         Lab::Judge { day, records } => {
             let day = read_day(&day)?;
             let config = script::fleet_config(&day.fleet).map_err(|p| wrong("fleet", &p))?;
-            let verdict =
-                judge(&Rules::of(&config, day::DRAIN_GRACE, day::BLUR), &day::read_records(&records)?);
-            verdict.breaches.iter().for_each(|b| println!("rule {}: {}", b.rule, b.what));
+            let verdict = judge(
+                &Rules::of(&config, day::DRAIN_GRACE, day::BLUR),
+                &day::read_records(&records)?,
+            );
+            verdict
+                .breaches
+                .iter()
+                .for_each(|b| println!("rule {}: {}", b.rule, b.what));
             println!("day {}: {verdict}", day.name);
-            Ok(if verdict.breaches.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+            Ok(if verdict.breaches.is_empty() {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            })
         }
-        Lab::Bench { rounds, seconds, idle, sessions, log, most_failed } => {
+        Lab::Bench {
+            rounds,
+            seconds,
+            idle,
+            sessions,
+            log,
+            most_failed,
+        } => {
             crankpaddle_net::start(Some(2));
             let (exe, dir) = (std::env::current_exe()?, temporary());
-            let plan = bench::Plan { exe, dir: dir.clone(), rounds, seconds, idle, sessions, log };
+            let plan = bench::Plan {
+                exe,
+                dir: dir.clone(),
+                rounds,
+                seconds,
+                idle,
+                sessions,
+                log,
+            };
             let measured = bench::run(&plan)?;
             println!("{}", measured.text);
             let _ = std::fs::remove_dir_all(dir); // A folder left behind harms nobody.
-            Ok(if measured.failed <= most_failed { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+            Ok(if measured.failed <= most_failed {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            })
         }
-        Lab::Account { sessions, seconds, rounds } => {
-            let plan = account::Plan { sessions, seconds, rounds: rounds as usize };
+        Lab::Account {
+            sessions,
+            seconds,
+            rounds,
+        } => {
+            let plan = account::Plan {
+                sessions,
+                seconds,
+                rounds: rounds as usize,
+            };
             println!("{}", account::run(&plan)?);
             Ok(ExitCode::SUCCESS)
         }
@@ -206,18 +244,42 @@
             }
         }
         Lab::Servers { day, seconds } => serve(&read_day(&day)?, seconds),
-        Lab::Import { file, into, name, rates, servers, fronts } => {
+        Lab::Import {
+            file,
+            into,
+            name,
+            rates,
+            servers,
+            fronts,
+        } => {
             let text = std::fs::read_to_string(&file).map_err(|e| named(&file, &e))?;
-            let stem = file.file_stem().map(|s| s.to_string_lossy().into_owned()).unwrap_or_default();
+            let stem = file
+                .file_stem()
+                .map(|s| s.to_string_lossy().into_owned())
+                .unwrap_or_default();
             let name = name.unwrap_or(stem);
             let fleet_name = format!("{name}-fleet.textproto");
-            let made = import(&text, &name, &fleet_name, Fit { rates, servers, fronts })
-                .map_err(|what| Failure { what: format!("{}: {what}", file.display()), status: BAD_FILE })?;
+            let made = import(
+                &text,
+                &name,
+                &fleet_name,
+                Fit {
+                    rates,
+                    servers,
+                    fronts,
+                },
+            )
+            .map_err(|what| Failure {
+                what: format!("{}: {what}", file.display()),
+                status: BAD_FILE,
+            })?;
             let day = into.join(format!("{name}.textproto"));
             std::fs::write(&day, &made.day).map_err(|e| named(&day, &e))?;
             std::fs::write(into.join(&fleet_name), &made.fleet)
                 .map_err(|e| named(&into.join(&fleet_name), &e))?;
-            made.left_out.iter().for_each(|kind| eprintln!("left out, it has no like here: {kind}"));
+            made.left_out
+                .iter()
+                .for_each(|kind| eprintln!("left out, it has no like here: {kind}"));
             println!("{}", day.display());
             Ok(ExitCode::SUCCESS)
         }
@@ -229,12 +291,18 @@
 }
 
 fn named(path: &Path, e: &std::io::Error) -> Failure {
-    Failure { what: format!("{}: {e}", path.display()), status: BAD_FILE }
+    Failure {
+        what: format!("{}: {e}", path.display()),
+        status: BAD_FILE,
+    }
 }
 
 fn wrong(path: &str, problems: &[crankpaddle_config::Problem]) -> Failure {
     let lines: Vec<String> = problems.iter().map(|p| format!("{path}:{p}")).collect();
-    Failure { what: lines.join("\n"), status: BAD_FILE }
+    Failure {
+        what: lines.join("\n"),
+        status: BAD_FILE,
+    }
 }
 
 fn read_day(name: &str) -> Result<Day, Failure> {
@@ -247,7 +315,10 @@
     let path = Path::new(name);
     let text = std::fs::read_to_string(path).map_err(|e| {
         let known: Vec<&str> = script::DAYS.iter().map(|(name, _)| *name).collect();
-        Failure { what: format!("{name}: {e}; built-in days: {}", known.join(", ")), status: BAD_FILE }
+        Failure {
+            what: format!("{name}: {e}; built-in days: {}", known.join(", ")),
+            status: BAD_FILE,
+        }
     })?;
     let fleet = |fleet: &str| {
         if let Some(fleet) = script::built_in_fleet(fleet) {
@@ -277,14 +348,27 @@
         day.seconds()
     );
     let exe = std::env::current_exe()?;
-    let play = Play { exe, seed, dir: dir.clone(), workers: args.workers, peers: args.peers };
+    let play = Play {
+        exe,
+        seed,
+        dir: dir.clone(),
+        workers: args.workers,
+        peers: args.peers,
+    };
     let outcome = day::play(&day, &play)?;
     if let Some(report) = &args.report {
         day::write_records(report, &outcome.records).map_err(|e| named(report, &e))?;
     }
     let verdict = &outcome.verdict;
-    verdict.breaches.iter().take(args.most).for_each(|b| println!("rule {}: {}", b.rule, b.what));
-    outcome.faults.iter().for_each(|what| println!("fault: {what}"));
+    verdict
+        .breaches
+        .iter()
+        .take(args.most)
+        .for_each(|b| println!("rule {}: {}", b.rule, b.what));
+    outcome
+        .faults
+        .iter()
+        .for_each(|what| println!("fault: {what}"));
     eprintln!(
         "played {}, refused {}, failed {}; media bytes sent {} read {}; simulated servers, loopback",
         verdict.played, verdict.refused, verdict.failed, outcome.bytes.0, outcome.bytes.1
@@ -317,14 +401,23 @@
     for b in &outcome.told.budgets {
         let over = b.overdraft_hall_lost_bytes + b.overdraft_hall_full_bytes;
         let (from, to, off) = (&b.from, &b.to, b.written_off_bytes);
-        eprintln!("budget {from} > {to}: {:.0} kB/s, overdrafts {over}, written off {off} bytes", b.rate_kb);
+        eprintln!(
+            "budget {from} > {to}: {:.0} kB/s, overdrafts {over}, written off {off} bytes",
+            b.rate_kb
+        );
     }
-    if let Some(back) =
-        day.faults.iter().filter(|f| f.kind == script::Kind::Crash).map(|f| f.at + f.length).max()
+    if let Some(back) = day
+        .faults
+        .iter()
+        .filter(|f| f.kind == script::Kind::Crash)
+        .map(|f| f.at + f.length)
+        .max()
     {
         let rate = if budget > 0.0 { budget } else { return };
         let below = outcome.crossed.below(rate, outcome.start + back, end, OVER);
-        let said = below.map_or("not before the day's end".to_owned(), |s| format!("{s} s after"));
+        let said = below.map_or("not before the day's end".to_owned(), |s| {
+            format!("{s} s after")
+        });
         eprintln!("crossing is back under {rate:.0} kB/s {said} the hall came back");
     }
 }
@@ -335,10 +428,17 @@
     let recorder = Recorder::default();
     let fleet = Fleet::start(config.clone(), &day::layout(day, 1), recorder.clone())?;
     let state = crankpaddle_lab::list_service::State::Ready;
-    let entries = fleet.servers.iter().map(|s| entry(&config, s.id, s.address, state, 0)).collect();
+    let entries = fleet
+        .servers
+        .iter()
+        .map(|s| entry(&config, s.id, s.address, state, 0))
+        .collect();
     let list = ListService::start(entries, day.list_delay, recorder)?;
     let block = script::front_block(0, 1, &config.zones[0], &list.address.to_string(), "");
-    println!("# {} servers; the list service is at {}. A front for them:", day.servers, list.address);
+    println!(
+        "# {} servers; the list service is at {}. A front for them:",
+        day.servers, list.address
+    );
     println!("{block}{}", day.fleet);
     std::thread::sleep(Duration::from_secs(seconds));
     Ok(ExitCode::SUCCESS)
@@ -353,7 +453,9 @@
     let start = clock::now();
     let until = start + day.length;
     for (at, mut visit) in day::arrivals(day, &config, seed) {
-        std::thread::sleep(Duration::from_nanos((start + at).saturating_sub(clock::now())));
+        std::thread::sleep(Duration::from_nanos(
+            (start + at).saturating_sub(clock::now()),
+        ));
         visit.fronts = vec![(0, front)];
         visit.watch = visit.watch.min(day.length - at);
         let crowd = crowd.clone();
@@ -362,11 +464,24 @@
     while crowd.there() > 0 {
         std::thread::sleep(Duration::from_millis(50));
     }
-    let verdict = judge(&Rules::of(&config, day::DRAIN_GRACE, day::BLUR), &recorder.all());
-    verdict.breaches.iter().filter(|b| b.rule == 1).for_each(|b| println!("rule 1: {}", b.what));
+    let verdict = judge(
+        &Rules::of(&config, day::DRAIN_GRACE, day::BLUR),
+        &recorder.all(),
+    );
+    verdict
+        .breaches
+        .iter()
+        .filter(|b| b.rule == 1)
+        .for_each(|b| println!("rule 1: {}", b.what));
     let (calls, once) = (verdict.sessions, verdict.answered_once);
     let (played, refused, failed) = (verdict.played, verdict.refused, verdict.failed);
-    println!("calls {calls}, answered once {once}: played {played}, refused {refused}, failed {failed}");
+    println!(
+        "calls {calls}, answered once {once}: played {played}, refused {refused}, failed {failed}"
+    );
     println!("tries that found no front: {}", crowd.found_no_front());
-    Ok(if calls == once && calls > 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    Ok(if calls == once && calls > 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
 }
--- a/crates/cli/src/logs.rs
+++ b/crates/cli/src/logs.rs
@@ -18,10 +18,15 @@
 pub fn start_bounded(level: &str, json: bool, waiting: usize) -> WorkerGuard {
     // The writer flushes when no line waits: under load many lines go out with one call of the kernel.
     let out = BufWriter::with_capacity(BUFFER, std::io::stderr());
-    let (writer, guard) = NonBlockingBuilder::default().buffered_lines_limit(waiting).finish(out);
+    let (writer, guard) = NonBlockingBuilder::default()
+        .buffered_lines_limit(waiting)
+        .finish(out);
     let filter = EnvFilter::try_from_env("CRANKPADDLE_LOG")
         .unwrap_or_else(|_| EnvFilter::new(format!("{level},may=warn")));
-    let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(writer).with_ansi(false);
+    let logs = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(writer)
+        .with_ansi(false);
     if json {
         logs.json().flatten_event(true).init();
     } else {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -86,7 +86,9 @@
 
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
-        Command::Front { config } => load(&config).map_err(bad_file).and_then(|c| front::run(c, config)),
+        Command::Front { config } => load(&config)
+            .map_err(bad_file)
+            .and_then(|c| front::run(c, config)),
         Command::Node { config } => node::run(config),
         Command::Check { file, print } => {
             let show = |text: String| {
@@ -94,7 +96,10 @@
                     println!("{text}")
                 }
             };
-            crankpaddle_config::filled(&file).map(show).map(|()| ExitCode::SUCCESS).map_err(bad_file)
+            crankpaddle_config::filled(&file)
+                .map(show)
+                .map(|()| ExitCode::SUCCESS)
+                .map_err(bad_file)
         }
         Command::Api(api) => api::run(api),
         Command::Members { front, json } => members::run(&front, json),
@@ -116,18 +121,33 @@
 impl Failure {
     /// What happened, and what can be done.
     fn advised(e: &dyn miette::Diagnostic) -> Failure {
-        let code = e.code().map(|code| format!(" ({code})")).unwrap_or_default();
-        let help = e.help().map(|help| format!("\n  do: {help}")).unwrap_or_default();
-        Failure { what: format!("{e}{code}{help}"), status: 1 }
+        let code = e
+            .code()
+            .map(|code| format!(" ({code})"))
+            .unwrap_or_default();
+        let help = e
+            .help()
+            .map(|help| format!("\n  do: {help}"))
+            .unwrap_or_default();
+        Failure {
+            what: format!("{e}{code}{help}"),
+            status: 1,
+        }
     }
 }
 
 impl<E: std::error::Error> From<E> for Failure {
     fn from(e: E) -> Failure {
-        Failure { what: e.to_string(), status: 1 }
+        Failure {
+            what: e.to_string(),
+            status: 1,
+        }
     }
 }
 
 fn bad_file(e: Error) -> Failure {
-    Failure { what: e.to_string(), status: BAD_FILE }
+    Failure {
+        what: e.to_string(),
+        status: BAD_FILE,
+    }
 }
--- a/crates/cli/src/members.rs
+++ b/crates/cli/src/members.rs
@@ -27,8 +27,16 @@
             peer.name, peer.by, peer.address
         );
     }
-    let _ = writeln!(text, "datagrams: sent {}, heard {}, dropped {}", of.sent, of.heard, of.dropped);
-    let counted = of.counted.iter().filter(|(_, n)| **n > 0).map(|(name, n)| format!("{name} {n}"));
+    let _ = writeln!(
+        text,
+        "datagrams: sent {}, heard {}, dropped {}",
+        of.sent, of.heard, of.dropped
+    );
+    let counted = of
+        .counted
+        .iter()
+        .filter(|(_, n)| **n > 0)
+        .map(|(name, n)| format!("{name} {n}"));
     let counted: Vec<String> = counted.collect();
     if !counted.is_empty() {
         let _ = writeln!(text, "counted: {}", counted.join(", "));
@@ -38,12 +46,19 @@
 
 /// Prints what a front knows of the others.
 pub fn run(front: &SocketAddr, json: bool) -> Result<ExitCode, Failure> {
-    let of_front = |what: String| Failure { what: format!("{front}: {what}"), status: 1 };
-    let body =
-        crankpaddle_traffic_report::get(front, "/members", WITHIN).map_err(|e| of_front(e.to_string()))?;
-    let members: Members =
-        serde_json::from_slice(&body).map_err(|e| of_front(format!("is no word on members: {e}")))?;
-    let text = if json { serde_json::to_string_pretty(&members)? + "\n" } else { table(&members) };
+    let of_front = |what: String| Failure {
+        what: format!("{front}: {what}"),
+        status: 1,
+    };
+    let body = crankpaddle_traffic_report::get(front, "/members", WITHIN)
+        .map_err(|e| of_front(e.to_string()))?;
+    let members: Members = serde_json::from_slice(&body)
+        .map_err(|e| of_front(format!("is no word on members: {e}")))?;
+    let text = if json {
+        serde_json::to_string_pretty(&members)? + "\n"
+    } else {
+        table(&members)
+    };
     std::io::stdout().write_all(text.as_bytes())?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/cli/src/node.rs
+++ b/crates/cli/src/node.rs
@@ -32,18 +32,33 @@
 pub fn run(config: Option<PathBuf>) -> Result<ExitCode, Failure> {
     // First of all: a signal that comes during the start must find its handler.
     let signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
-    let bad = |what: String| Failure { what: format!("crankpaddle node: {what}"), status: BAD_FILE };
+    let bad = |what: String| Failure {
+        what: format!("crankpaddle node: {what}"),
+        status: BAD_FILE,
+    };
     let path = config.or_else(|| std::env::var_os("NODE_CONFIG").map(PathBuf::from));
-    let path = path.ok_or_else(|| bad("no configuration: set NODE_CONFIG or give --config FILE".into()))?;
+    let path =
+        path.ok_or_else(|| bad("no configuration: set NODE_CONFIG or give --config FILE".into()))?;
     let config = load(&path).map_err(bad)?;
     let memory = usize::try_from(config.limits.memory_mb).unwrap_or(usize::MAX);
-    let _logs = logs::start_bounded("warn", false, memory.saturating_mul(LINES_PER_MB).clamp(64, 65_536));
+    let _logs = logs::start_bounded(
+        "warn",
+        false,
+        memory.saturating_mul(LINES_PER_MB).clamp(64, 65_536),
+    );
     crankpaddle_net::start(Some(1)); // There is one core, if that.
     let address = config.listen;
-    let node = Node::start(config).map_err(|e| Failure { what: format!("{address}: {e}"), status: 1 })?;
+    let node = Node::start(config).map_err(|e| Failure {
+        what: format!("{address}: {e}"),
+        status: 1,
+    })?;
     let node = Arc::new(node);
     let (reloaded, ended) = (node.clone(), node.clone());
-    running::follow(signals, move || reload(&reloaded, &path), move || ended.drain());
+    running::follow(
+        signals,
+        move || reload(&reloaded, &path),
+        move || ended.drain(),
+    );
     running::announce(node.address());
     node.wait();
     Ok(ExitCode::SUCCESS)
--- a/crates/cli/src/running.rs
+++ b/crates/cli/src/running.rs
@@ -5,7 +5,11 @@
 use std::net::SocketAddr;
 
 /// Calls `reload` at each SIGHUP and `end` at each other signal, on a thread of its own.
-pub fn follow(mut signals: Signals, reload: impl Fn() + Send + 'static, end: impl Fn() + Send + 'static) {
+pub fn follow(
+    mut signals: Signals,
+    reload: impl Fn() + Send + 'static,
+    end: impl Fn() + Send + 'static,
+) {
     std::thread::spawn(move || {
         for signal in signals.forever() {
             if signal == SIGHUP {
--- a/crates/cli/src/traffic.rs
+++ b/crates/cli/src/traffic.rs
@@ -76,8 +76,14 @@
 /// The reports together, and what could not be had. A part is never passed off as the whole.
 fn collect(sources: &Sources) -> (Report, Vec<String>) {
     let (mut reports, mut missing) = (Vec::new(), Vec::new());
-    let fronts = sources.fronts.iter().map(|address| (address.to_string(), fetch(address, WITHIN)));
-    let files = sources.file.iter().map(|path| (path.display().to_string(), load(path)));
+    let fronts = sources
+        .fronts
+        .iter()
+        .map(|address| (address.to_string(), fetch(address, WITHIN)));
+    let files = sources
+        .file
+        .iter()
+        .map(|path| (path.display().to_string(), load(path)));
     for (name, report) in fronts.chain(files) {
         match report {
             Ok(report) => reports.push(report),
@@ -100,9 +106,17 @@
             };
             std::io::stdout().write_all(text.as_bytes())?;
             missing.iter().for_each(|what| eprintln!("missing: {what}"));
-            Ok(if missing.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+            Ok(if missing.is_empty() {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            })
         }
-        Traffic::Watch { sources, every, looks } => {
+        Traffic::Watch {
+            sources,
+            every,
+            looks,
+        } => {
             let mut all_missing = true;
             for look in 0.. {
                 if looks.is_some_and(|most| look >= most) {
@@ -116,7 +130,11 @@
                 writeln!(std::io::stdout(), "{}", watch_line(&report))?;
                 missing.iter().for_each(|what| eprintln!("missing: {what}"));
             }
-            Ok(if all_missing { ExitCode::FAILURE } else { ExitCode::SUCCESS })
+            Ok(if all_missing {
+                ExitCode::FAILURE
+            } else {
+                ExitCode::SUCCESS
+            })
         }
     }
 }
--- a/crates/cli/tests/deployments.rs
+++ b/crates/cli/tests/deployments.rs
@@ -2,8 +2,16 @@
 use std::path::{Path, PathBuf};
 
 /// The packages that `crankpaddle node` is made of.
-const PACKAGES: [&str; 8] =
-    ["policy", "front", "node", "node-protocol", "net", "settings", "upstream", "http"];
+const PACKAGES: [&str; 8] = [
+    "policy",
+    "front",
+    "node",
+    "node-protocol",
+    "net",
+    "settings",
+    "upstream",
+    "http",
+];
 
 /// Names of classes, zones, kinds, tenants and sites of the deployments that are known; those of `deploy/sites` come on top.
 const NAMES: [&str; 24] = [
@@ -49,36 +57,55 @@
 /// A source's code: no comments, and nothing from its own tests on.
 fn code(text: &str) -> String {
     let code = text.split("#[cfg(test)]").next().unwrap_or_default();
-    code.lines().filter(|line| !line.trim_start().starts_with("//")).collect::<Vec<_>>().join("\n")
+    code.lines()
+        .filter(|line| !line.trim_start().starts_with("//"))
+        .collect::<Vec<_>>()
+        .join("\n")
 }
 
 /// What stands between quotes behind `name =`, and in lists behind `zones =`, in the deployments of our own.
 fn own_names() -> Vec<String> {
     let sites = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/sites");
-    let changes = std::fs::read_dir(sites).unwrap().map(|e| e.unwrap().path().join("changes.toml"));
-    let texts: Vec<String> = changes.filter_map(|path| std::fs::read_to_string(path).ok()).collect();
+    let changes = std::fs::read_dir(sites)
+        .unwrap()
+        .map(|e| e.unwrap().path().join("changes.toml"));
+    let texts: Vec<String> = changes
+        .filter_map(|path| std::fs::read_to_string(path).ok())
+        .collect();
     assert!(texts.len() >= 2, "two deployments of our own");
     let named = |line: &&str| line.starts_with("name =") || line.starts_with("zones =");
     let lines = texts.iter().flat_map(|text| text.lines().filter(named));
-    lines.flat_map(|line| line.split('"').skip(1).step_by(2)).map(str::to_owned).collect()
+    lines
+        .flat_map(|line| line.split('"').skip(1).step_by(2))
+        .map(str::to_owned)
+        .collect()
 }
 
 #[test]
 fn no_name_of_a_deployment_stands_in_the_sources_of_the_front_node() {
     let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
     let mut files = Vec::new();
-    PACKAGES.iter().for_each(|package| sources(&crates.join(package).join("src"), &mut files));
+    PACKAGES
+        .iter()
+        .for_each(|package| sources(&crates.join(package).join("src"), &mut files));
     assert!(files.len() > 50, "{} sources", files.len());
     let own = own_names();
     assert!(
         own.iter().any(|name| name == "dispatch-call") && own.iter().any(|name| name == "quay"),
         "{own:?}"
     );
-    let names: Vec<&str> = NAMES.into_iter().chain(own.iter().map(String::as_str)).collect();
+    let names: Vec<&str> = NAMES
+        .into_iter()
+        .chain(own.iter().map(String::as_str))
+        .collect();
     for file in files {
         let code = code(&std::fs::read_to_string(&file).unwrap()).to_lowercase();
         for name in &names {
-            assert!(!code.contains(&format!("\"{name}")), "{}: {name}", file.display());
+            assert!(
+                !code.contains(&format!("\"{name}")),
+                "{}: {name}",
+                file.display()
+            );
         }
     }
 }
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -41,13 +41,27 @@
             .spawn()
             .unwrap();
         let mut line = String::new();
-        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+        BufReader::new(child.stdout.take().unwrap())
+            .read_line(&mut line)
+            .unwrap();
         let (tell, log) = channel();
         let err = BufReader::new(child.stderr.take().unwrap());
-        std::thread::spawn(move || err.lines().map_while(Result::ok).for_each(|line| drop(tell.send(line))));
+        std::thread::spawn(move || {
+            err.lines()
+                .map_while(Result::ok)
+                .for_each(|line| drop(tell.send(line)))
+        });
         let address = line.trim().trim_start_matches("listening ").to_owned();
-        let front = Front { address, child, log };
-        assert!(line.starts_with("listening "), "{line}{:?}", front.log.try_iter().collect::<Vec<_>>());
+        let front = Front {
+            address,
+            child,
+            log,
+        };
+        assert!(
+            line.starts_with("listening "),
+            "{line}{:?}",
+            front.log.try_iter().collect::<Vec<_>>()
+        );
         front
     }
 
@@ -66,7 +80,9 @@
             })
             .collect();
         let udp = process.udp().unwrap().into_iter().map(|u| u.inode);
-        udp.chain(process.udp6().unwrap().into_iter().map(|u| u.inode)).filter(|i| held.contains(i)).count()
+        udp.chain(process.udp6().unwrap().into_iter().map(|u| u.inode))
+            .filter(|i| held.contains(i))
+            .count()
     }
 }
 
@@ -88,7 +104,9 @@
 impl Observer {
     fn start() -> Observer {
         let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-        socket.set_read_timeout(Some(Duration::from_millis(5))).unwrap();
+        socket
+            .set_read_timeout(Some(Duration::from_millis(5)))
+            .unwrap();
         let settings = Settings {
             name: "observer".into(),
             address: socket.local_addr().unwrap().to_string(),
@@ -100,7 +118,12 @@
             ..Settings::default()
         };
         let peers = Peers::new(settings, 1, 0);
-        Observer { peers, socket, began: Instant::now(), changes: Vec::new() }
+        Observer {
+            peers,
+            socket,
+            began: Instant::now(),
+            changes: Vec::new(),
+        }
     }
 
     fn address(&self) -> SocketAddr {
@@ -111,9 +134,11 @@
         let (mut out, mut bytes) = (Vec::new(), [0u8; 2048]);
         if let Ok((n, from)) = self.socket.recv_from(&mut bytes) {
             let now = self.began.elapsed().as_nanos() as u64;
-            self.peers.hear(now, &from.to_string(), &bytes[..n], &mut out);
+            self.peers
+                .hear(now, &from.to_string(), &bytes[..n], &mut out);
         }
-        self.peers.expire(self.began.elapsed().as_nanos() as u64, &mut out);
+        self.peers
+            .expire(self.began.elapsed().as_nanos() as u64, &mut out);
         for output in out {
             match output {
                 Output::Send { address, bytes, .. } => drop(self.socket.send_to(&bytes, address)),
@@ -127,7 +152,11 @@
     fn until(&mut self, what: &str, holds: impl Fn(&Observer) -> bool) -> Duration {
         let begun = Instant::now();
         while !holds(self) {
-            assert!(begun.elapsed() < LONG, "{what}: waited in vain; {:?}", self.peers.members());
+            assert!(
+                begun.elapsed() < LONG,
+                "{what}: waited in vain; {:?}",
+                self.peers.members()
+            );
             self.step();
         }
         begun.elapsed()
@@ -138,7 +167,9 @@
     }
 
     fn accused(&self, name: &str, since: Instant) -> bool {
-        self.changes.iter().any(|(at, c)| *at >= since && c.name == name && c.state == State::Gone)
+        self.changes
+            .iter()
+            .any(|(at, c)| *at >= since && c.name == name && c.state == State::Gone)
     }
 }
 
@@ -159,20 +190,33 @@
     let names = ["a", "b", "c", "d"];
     let start = |name: &str| Front::start(&dir, name, &peers(name, &key, seed));
     let mut fronts: Vec<Front> = names.iter().map(|name| start(name)).collect();
-    observer.until("all meet", |o| names.iter().all(|name| o.sees(name, State::Alive)));
+    observer.until("all meet", |o| {
+        names.iter().all(|name| o.sees(name, State::Alive))
+    });
 
     // Killed: its death is found, nobody else is accused.
     let since = Instant::now();
     fronts[0].signal(Signal::KILL);
     let took = observer.until("a's death is known", |o| o.sees("a", State::Gone));
-    eprintln!("a death is known after {took:?}, {} rounds", took.as_millis() / PROBE_EVERY.as_millis());
-    assert!(!["b", "c", "d"].iter().any(|name| observer.accused(name, since)), "{:?}", observer.changes);
+    eprintln!(
+        "a death is known after {took:?}, {} rounds",
+        took.as_millis() / PROBE_EVERY.as_millis()
+    );
+    assert!(
+        !["b", "c", "d"]
+            .iter()
+            .any(|name| observer.accused(name, since)),
+        "{:?}",
+        observer.changes
+    );
 
     // The same name again, from nothing: news, at once.
     fronts[0] = start("a");
     let anew = |o: &Observer| {
         o.sees("a", State::Alive)
-            && o.changes.iter().any(|(at, c)| *at >= since && c.name == "a" && c.restarted)
+            && o.changes
+                .iter()
+                .any(|(at, c)| *at >= since && c.name == "a" && c.restarted)
     };
     observer.until("a's new life is known", anew);
 
@@ -190,7 +234,13 @@
     let own = |line: &String| line.contains("Gone") && line.contains("\"by\":\"b\"");
     let said: Vec<String> = fronts[1].log.try_iter().filter(own).collect();
     assert!(said.is_empty(), "who stood still accused others: {said:?}");
-    assert!(!["a", "c", "d"].iter().any(|name| observer.accused(name, since)), "{:?}", observer.changes);
+    assert!(
+        !["a", "c", "d"]
+            .iter()
+            .any(|name| observer.accused(name, since)),
+        "{:?}",
+        observer.changes
+    );
 
     // What operators see.
     let out = Command::new(env!("CARGO_BIN_EXE_crankpaddle"))
@@ -201,14 +251,19 @@
     assert!(
         told.starts_with("a (127.0.0.1:")
             && told.contains("): Connected\n")
-            && told.lines().any(|l| l.starts_with("d ") && l.contains("alive")),
+            && told
+                .lines()
+                .any(|l| l.starts_with("d ") && l.contains("alive")),
         "{told}"
     );
 
     // Ended in order: it says so.
     fronts[2].signal(Signal::TERM);
     observer.until("c has left", |o| o.sees("c", State::Left));
-    assert!(names.iter().filter(|n| **n != "c").all(|name| observer.sees(name, State::Alive)));
+    assert!(names
+        .iter()
+        .filter(|n| **n != "c")
+        .all(|name| observer.sees(name, State::Alive)));
 }
 
 #[test]
@@ -218,18 +273,27 @@
     assert_eq!(alone.udp_sockets(), 0);
     let key = dir.join("key");
     std::fs::write(&key, KEY).unwrap();
-    let member = Front::start(&dir, "member", &peers("member", &key, "127.0.0.1:9".parse().unwrap()));
+    let member = Front::start(
+        &dir,
+        "member",
+        &peers("member", &key, "127.0.0.1:9".parse().unwrap()),
+    );
     assert_eq!(member.udp_sockets(), 1);
 
     let check = |peers: &str| {
         let path = dir.join("bad.textproto");
         let text = include_str!("../../../deploy/front.textproto");
         std::fs::write(&path, format!("{text}{peers}")).unwrap();
-        let out = Command::new(env!("CARGO_BIN_EXE_crankpaddle")).arg("check").arg(&path).output().unwrap();
+        let out = Command::new(env!("CARGO_BIN_EXE_crankpaddle"))
+            .arg("check")
+            .arg(&path)
+            .output()
+            .unwrap();
         (out.status.code(), String::from_utf8(out.stderr).unwrap())
     };
-    let (status, said) =
-        check("peers { name: \"two words\" listen: \"nowhere\" seed: \"x\" probe_every: \"1ms\" }\n");
+    let (status, said) = check(
+        "peers { name: \"two words\" listen: \"nowhere\" seed: \"x\" probe_every: \"1ms\" }\n",
+    );
     assert_eq!(status, Some(2));
     for what in ["name", "listen", "seed", "key_file", "20 ms"] {
         assert!(said.contains(what), "{what} is not told: {said}");
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -61,12 +61,26 @@
             .spawn()
             .unwrap();
         let mut line = String::new();
-        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
-        let address = line.trim().strip_prefix("listening ").expect("it says where it listens").to_owned();
+        BufReader::new(child.stdout.take().unwrap())
+            .read_line(&mut line)
+            .unwrap();
+        let address = line
+            .trim()
+            .strip_prefix("listening ")
+            .expect("it says where it listens")
+            .to_owned();
         let (tell, log) = channel();
         let err = BufReader::new(child.stderr.take().unwrap());
-        std::thread::spawn(move || err.lines().map_while(Result::ok).for_each(|line| drop(tell.send(line))));
-        Node { child, address, log }
+        std::thread::spawn(move || {
+            err.lines()
+                .map_while(Result::ok)
+                .for_each(|line| drop(tell.send(line)))
+        });
+        Node {
+            child,
+            address,
+            log,
+        }
     }
 
     fn signal(&self, signal: Signal) {
@@ -75,7 +89,10 @@
 
     fn logs(&self, what: &str) -> String {
         loop {
-            let line = self.log.recv_timeout(LONG).unwrap_or_else(|_| panic!("never logged: {what}"));
+            let line = self
+                .log
+                .recv_timeout(LONG)
+                .unwrap_or_else(|_| panic!("never logged: {what}"));
             if line.contains(what) {
                 return line;
             }
@@ -95,7 +112,11 @@
     let refused = |command: &mut Command| {
         let out = command.output().unwrap();
         let said = String::from_utf8(out.stderr).unwrap();
-        assert_eq!((out.status.code(), said.lines().count(), out.stdout.len()), (Some(2), 1, 0), "{said}");
+        assert_eq!(
+            (out.status.code(), said.lines().count(), out.stdout.len()),
+            (Some(2), 1, 0),
+            "{said}"
+        );
         said
     };
     assert!(refused(&mut program()).contains("NODE_CONFIG"));
@@ -104,7 +125,10 @@
     std::fs::write(&path, "{\"name\":").unwrap();
     assert!(refused(program().arg("--config").arg(&path)).contains("broken.json"));
     let mut lacking = config(&directory());
-    lacking["settings"]["family-info"].as_object_mut().unwrap().remove("cells");
+    lacking["settings"]["family-info"]
+        .as_object_mut()
+        .unwrap()
+        .remove("cells");
     std::fs::write(&path, lacking.to_string()).unwrap();
     assert!(refused(program().arg("--config").arg(&path)).contains("cells"));
 }
@@ -137,7 +161,10 @@
     let mut line = String::new();
     BufReader::new(&viewer).read_line(&mut line).unwrap();
     let answer: Value = serde_json::from_str(&line).unwrap();
-    assert_eq!((&answer["verb"], &answer["rc"]), (&json!("FINISH"), &json!(34)));
+    assert_eq!(
+        (&answer["verb"], &answer["rc"]),
+        (&json!("FINISH"), &json!(34))
+    );
     assert_eq!(answer["opts"]["wait"], "1000");
     node.signal(Signal::TERM);
     let until = Instant::now() + LONG;
@@ -155,8 +182,8 @@
 /// and UDP over IPv4 at known addresses alone. Fails if anything (another listener, a peer's socket, a helper process)
 /// comes to run under `node`.
 #[test]
-fn the_process_is_one_is_linked_dynamically_and_holds_only_its_listener_its_links_and_the_directorys_socket()
-{
+fn the_process_is_one_is_linked_dynamically_and_holds_only_its_listener_its_links_and_the_directorys_socket(
+) {
     let (first, second) = (directory(), directory());
     let server = TcpListener::bind("127.0.0.1:0").unwrap();
     let path = file("one-process.json");
@@ -167,7 +194,8 @@
     // Fields of other programs' configurations are not this one's: none of them turns anything on.
     config["peers"] = json!({"name": "n1", "listen": "127.0.0.1:0", "seed": ["127.0.0.1:9"]});
     let store = file("no-store").with_extension("d");
-    config["store"] = json!({"name": "n1", "dir": store.to_string_lossy(), "key_file": "/dev/null"});
+    config["store"] =
+        json!({"name": "n1", "dir": store.to_string_lossy(), "key_file": "/dev/null"});
     std::fs::write(&path, config.to_string()).unwrap();
     let node = Node::start(&path);
     let mut viewer = TcpStream::connect(&node.address).unwrap();
@@ -178,13 +206,25 @@
     config["nameserver"] = json!(second.local_addr().unwrap().to_string());
     std::fs::write(&path, config.to_string()).unwrap();
     node.signal(Signal::HUP);
-    second.recv(&mut [0u8; 512]).expect("the new directory is asked");
+    second
+        .recv(&mut [0u8; 512])
+        .expect("the new directory is asked");
 
     let pid = node.child.id() as i32;
     let process = Process::new(pid).unwrap();
-    let maps: Vec<String> = process.maps().unwrap().iter().map(|m| format!("{:?}", m.pathname)).collect();
-    assert!(maps.iter().any(|m| m.contains("libc.so")), "the C library is not linked dynamically: {maps:?}");
-    let children = procfs::process::all_processes().unwrap().filter_map(|p| p.ok()?.stat().ok());
+    let maps: Vec<String> = process
+        .maps()
+        .unwrap()
+        .iter()
+        .map(|m| format!("{:?}", m.pathname))
+        .collect();
+    assert!(
+        maps.iter().any(|m| m.contains("libc.so")),
+        "the C library is not linked dynamically: {maps:?}"
+    );
+    let children = procfs::process::all_processes()
+        .unwrap()
+        .filter_map(|p| p.ok()?.stat().ok());
     let children: Vec<String> = children.filter(|s| s.ppid == pid).map(|s| s.comm).collect();
     assert!(children.is_empty(), "it started {children:?}");
 
@@ -199,7 +239,12 @@
     let (listen, at): (SocketAddr, SocketAddr) =
         (node.address.parse().unwrap(), server.local_addr().unwrap());
     let (mut listeners, mut links, mut viewers) = (0, 0, 0);
-    for socket in process.tcp().unwrap().into_iter().filter(|t| held.contains(&t.inode)) {
+    for socket in process
+        .tcp()
+        .unwrap()
+        .into_iter()
+        .filter(|t| held.contains(&t.inode))
+    {
         match socket.state {
             TcpState::Listen if socket.local_address == listen => listeners += 1,
             _ if socket.remote_address == at => links += 1,
@@ -208,15 +253,33 @@
         }
     }
     assert_eq!((listeners, links, viewers), (1, 1, 1));
-    let udp: Vec<_> = process.udp().unwrap().into_iter().filter(|u| held.contains(&u.inode)).collect();
+    let udp: Vec<_> = process
+        .udp()
+        .unwrap()
+        .into_iter()
+        .filter(|u| held.contains(&u.inode))
+        .collect();
     let asks: Vec<SocketAddr> = udp.iter().map(|u| u.remote_address).collect();
-    assert_eq!(asks, [second.local_addr().unwrap()], "one socket, which hears the directory alone");
+    assert_eq!(
+        asks,
+        [second.local_addr().unwrap()],
+        "one socket, which hears the directory alone"
+    );
     let six = process.tcp6().unwrap().into_iter().map(|t| t.inode);
-    let six: Vec<u64> = six.chain(process.udp6().unwrap().into_iter().map(|u| u.inode)).collect();
-    assert!(!six.iter().any(|inode| held.contains(inode)), "a socket over IPv6");
+    let six: Vec<u64> = six
+        .chain(process.udp6().unwrap().into_iter().map(|u| u.inode))
+        .collect();
+    assert!(
+        !six.iter().any(|inode| held.contains(inode)),
+        "a socket over IPv6"
+    );
     // Signals come in over a pair of sockets of its own, which has no name that anybody could connect to.
     assert!(!store.exists(), "a folder of its own");
-    let named = process.unix().unwrap().into_iter().filter(|u| held.contains(&u.inode) && u.path.is_some());
+    let named = process
+        .unix()
+        .unwrap()
+        .into_iter()
+        .filter(|u| held.contains(&u.inode) && u.path.is_some());
     assert_eq!(named.count(), 0, "a Unix socket with a name");
 }
 
@@ -250,7 +313,10 @@
     };
     let all_at_once = || {
         let started: Vec<_> = paths.iter().map(start).collect();
-        started.into_iter().map(|ready| ready.join().unwrap()).collect::<Vec<(Duration, Node)>>()
+        started
+            .into_iter()
+            .map(|ready| ready.join().unwrap())
+            .collect::<Vec<(Duration, Node)>>()
     };
     drop(all_at_once()); // Each is killed.
     let mut took: Vec<Duration> = all_at_once().into_iter().map(|(took, _)| took).collect();
@@ -261,5 +327,8 @@
         took[NODES * 9 / 10 - 1],
         took[NODES - 1]
     );
-    assert!(took[NODES * 9 / 10 - 1] < Duration::from_secs(10), "{took:?}");
+    assert!(
+        took[NODES * 9 / 10 - 1] < Duration::from_secs(10),
+        "{took:?}"
+    );
 }
--- a/crates/cli/tests/power.rs
+++ b/crates/cli/tests/power.rs
@@ -49,13 +49,28 @@
         let config = Arc::new(fleet_config(FLEET).unwrap());
         let recorder = Recorder::default();
         // A set-up takes long enough to be met in its midst.
-        let layout =
-            Layout { count: 12, cores: 3, work: 300_000_000, uneven: 0.0, segment: 200_000_000, seed: 3 };
+        let layout = Layout {
+            count: 12,
+            cores: 3,
+            work: 300_000_000,
+            uneven: 0.0,
+            segment: 200_000_000,
+            seed: 3,
+        };
         let fleet = Fleet::start(config.clone(), &layout, recorder.clone()).unwrap();
-        let of = |s: &Arc<crankpaddle_lab::server::Server>| entry(&config, s.id, s.address, State::Ready, 0);
+        let of = |s: &Arc<crankpaddle_lab::server::Server>| {
+            entry(&config, s.id, s.address, State::Ready, 0)
+        };
         let entries = fleet.servers.iter().map(of).collect();
         let list = ListService::start(entries, 1_000_000, recorder.clone()).unwrap();
-        let mut rig = Rig { dir, fleet, list, recorder, config, boots: 0 };
+        let mut rig = Rig {
+            dir,
+            fleet,
+            list,
+            recorder,
+            config,
+            boots: 0,
+        };
         rig.boot();
         rig
     }
@@ -80,20 +95,33 @@
             "store {{ name: \"north-1\" dir: {dir:?} key_file: {key:?} boot_file: {boot:?} settle: \"2s\" calm: \"50ms\" }}\n"
         );
         let cache = self.path("list");
-        let block = front_block(0, 1, "north", &self.list.address.to_string(), &cache.to_string_lossy());
+        let block = front_block(
+            0,
+            1,
+            "north",
+            &self.list.address.to_string(),
+            &cache.to_string_lossy(),
+        );
         let exe = Path::new(env!("CARGO_BIN_EXE_crankpaddle"));
         Process::start(exe, self.dir.path(), "front", &(block + &store + FLEET)).unwrap()
     }
 
     fn seen(&self, which: impl Fn(&Seen) -> bool) -> usize {
-        self.recorder.all().iter().filter(|r| which(&r.seen)).count()
+        self.recorder
+            .all()
+            .iter()
+            .filter(|r| which(&r.seen))
+            .count()
     }
 
     /// Set-ups and bills of a key.
     fn of(&self, key: &str) -> (usize, usize) {
         let label = bill(key);
         let sent = self.seen(|s| matches!(s, Seen::SetUp { bill, .. } if *bill == label));
-        (sent, self.seen(|s| matches!(s, Seen::Billed { bill, .. } if *bill == label)))
+        (
+            sent,
+            self.seen(|s| matches!(s, Seen::Billed { bill, .. } if *bill == label)),
+        )
     }
 
     fn hang(&self, hangs: bool) {
@@ -110,15 +138,24 @@
     fn of(front: &Process) -> Player {
         let stream = TcpStream::connect(front.address).unwrap();
         stream.set_read_timeout(Some(LONG)).unwrap();
-        let request = format!("ws://{}/session", front.address).into_client_request().unwrap();
+        let request = format!("ws://{}/session", front.address)
+            .into_client_request()
+            .unwrap();
         let (socket, _) = tungstenite::client::client(request, stream).unwrap();
         Player { socket, calls: 0 }
     }
 
     fn open(&mut self, key: &str, class: &str) {
         self.calls += 1;
-        let open = Open { key: key.into(), title: "clip-03".into(), class: class.into(), ..Open::default() };
-        self.socket.send(Message::text(client::open(self.calls, &open))).unwrap();
+        let open = Open {
+            key: key.into(),
+            title: "clip-03".into(),
+            class: class.into(),
+            ..Open::default()
+        };
+        self.socket
+            .send(Message::text(client::open(self.calls, &open)))
+            .unwrap();
     }
 
     fn hear(&mut self) -> Said {
@@ -187,7 +224,9 @@
             player.socket.send(Message::text(text)).unwrap();
             assert!(matches!(player.hear(), Said::Closed { .. }));
             let ended = plays(&said).1.split('/').nth(4).unwrap().to_owned();
-            wait("its end", || rig.seen(|s| matches!(s, Seen::Ended { name, .. } if *name == ended)) == 1);
+            wait("its end", || {
+                rig.seen(|s| matches!(s, Seen::Ended { name, .. } if *name == ended)) == 1
+            });
             None
         }
         _ => unreachable!("{step}"),
@@ -220,16 +259,26 @@
         },
         // Its server lets go of it when its front is lost, or had not seen that yet.
         "it ran and nobody was told" => {
-            assert!(matches!(said, Said::Plays { .. } | Said::Failed { .. }), "{said:?}");
+            assert!(
+                matches!(said, Said::Plays { .. } | Said::Failed { .. }),
+                "{said:?}"
+            );
             assert_eq!((sent, billed), (1, 1), "{step}");
         }
         "its viewer was told" => {
-            assert_eq!(Some(plays(said).1), media, "the session that its server kept");
+            assert_eq!(
+                Some(plays(said).1),
+                media,
+                "the session that its server kept"
+            );
             assert_eq!((sent, billed), (1, 1), "{step}");
         }
         // What is written of an end may be lost; that it ran is not.
         _ => {
-            assert!(["key_spent", "no_answer"].contains(&failed(said)), "{said:?}");
+            assert!(
+                ["key_spent", "no_answer"].contains(&failed(said)),
+                "{said:?}"
+            );
             assert_eq!((sent, billed), (1, 1), "{step}");
         }
     }
@@ -293,7 +342,10 @@
 #[test]
 fn a_disk_that_is_empty_old_torn_or_spoilt_sells_nothing_twice() {
     let mut rig = Rig::new();
-    for (n, how) in ["empty", "of last week", "torn", "spoilt"].into_iter().enumerate() {
+    for (n, how) in ["empty", "of last week", "torn", "spoilt"]
+        .into_iter()
+        .enumerate()
+    {
         let front = rig.start();
         plays(&Player::of(&front).ask(&format!("free-{n:04}"), FREE));
         front.kill().unwrap();
@@ -314,7 +366,10 @@
         let said = player.ask(&told, PAID);
         assert_eq!(Some(plays(&said).1), media.as_deref(), "{how}");
         let said = player.ask(&ran, PAID);
-        assert!(matches!(said, Said::Plays { .. } | Said::Failed { .. }), "{said:?}");
+        assert!(
+            matches!(said, Said::Plays { .. } | Said::Failed { .. }),
+            "{said:?}"
+        );
         assert_eq!((rig.of(&told), rig.of(&ran)), ((1, 1), (1, 1)), "{how}");
         // What is new is sold.
         plays(&player.ask(&format!("new-{n:04}"), PAID));
@@ -325,7 +380,8 @@
 }
 
 #[test]
-fn a_server_that_lost_its_book_or_its_sessions_proves_nothing_and_an_end_in_order_leaves_nothing_open() {
+fn a_server_that_lost_its_book_or_its_sessions_proves_nothing_and_an_end_in_order_leaves_nothing_open(
+) {
     let mut rig = Rig::new();
     let front = rig.start();
     let mut player = Player::of(&front);
@@ -365,16 +421,25 @@
     let front = rig.start();
     let (dir, key) = (rig.path("store"), rig.path("key"));
     let said = |folder: &Path| {
-        let store =
-            format!("store {{ name: \"north-1\" dir: {folder:?} key_file: {key:?} settle: \"2s\" }}\n");
+        let store = format!(
+            "store {{ name: \"north-1\" dir: {folder:?} key_file: {key:?} settle: \"2s\" }}\n"
+        );
         let block = front_block(0, 1, "north", "127.0.0.1:9", "");
         let exe = Path::new(env!("CARGO_BIN_EXE_crankpaddle"));
-        Process::start(exe, rig.dir.path(), "second", &(block + &store + FLEET)).unwrap_err().to_string()
+        Process::start(exe, rig.dir.path(), "second", &(block + &store + FLEET))
+            .unwrap_err()
+            .to_string()
     };
     let locked = said(&dir);
-    assert!(locked.contains("store::locked") && locked.contains("do: give each front"), "{locked}");
+    assert!(
+        locked.contains("store::locked") && locked.contains("do: give each front"),
+        "{locked}"
+    );
     front.kill().unwrap();
     fs::write(dir.join("VERSION"), "7\n").unwrap();
     let future = said(&dir);
-    assert!(future.contains("store::future") && future.contains("version 7"), "{future}");
+    assert!(
+        future.contains("store::future") && future.contains("version 7"),
+        "{future}"
+    );
 }
--- a/crates/cli/tests/rig.rs
+++ b/crates/cli/tests/rig.rs
@@ -49,14 +49,24 @@
 
 fn play(name: &str, text: &str, fronts: u32) -> (Output, String, String) {
     let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
-    let dir: PathBuf = std::env::temp_dir().join(format!("crankpaddle-rig-{name}-{}", std::process::id()));
+    let dir: PathBuf =
+        std::env::temp_dir().join(format!("crankpaddle-rig-{name}-{}", std::process::id()));
     std::fs::create_dir_all(&dir).unwrap();
     let case = dir.join("case.textproto");
     std::fs::write(&case, text).unwrap();
     let out = Command::new(env!("CARGO_BIN_EXE_crankpaddle"))
         .args(["lab", "fleet"])
         .arg(&case)
-        .args(["--fronts", &fronts.to_string(), "--seed", "7", "--probe-every", "200ms", "--rate", "10"])
+        .args([
+            "--fronts",
+            &fronts.to_string(),
+            "--seed",
+            "7",
+            "--probe-every",
+            "200ms",
+            "--rate",
+            "10",
+        ])
         .arg("--dir")
         .arg(dir.join("fronts"))
         .output()
@@ -70,10 +80,22 @@
 fn faults_between_processes_are_seen_for_what_they_are_and_the_rules_hold() {
     let (out, said, told) = play("small", CASE, 5);
     assert!(out.status.success(), "{said}{told}");
-    assert!(said.starts_with("fleet small: fronts 5, sessions "), "{said}");
-    assert!(said.contains("rules kept 6/6, claims kept 9/9"), "{said}{told}");
-    let sessions = told.lines().find(|l| l.starts_with("sessions: ")).unwrap_or_default();
-    assert!(!sessions.contains(" 0 played"), "players came to no session: {sessions}");
+    assert!(
+        said.starts_with("fleet small: fronts 5, sessions "),
+        "{said}"
+    );
+    assert!(
+        said.contains("rules kept 6/6, claims kept 9/9"),
+        "{said}{told}"
+    );
+    let sessions = told
+        .lines()
+        .find(|l| l.starts_with("sessions: "))
+        .unwrap_or_default();
+    assert!(
+        !sessions.contains(" 0 played"),
+        "players came to no session: {sessions}"
+    );
 }
 
 #[test]
@@ -90,5 +112,8 @@
 fn what_is_wrong_with_a_case_is_told_and_nothing_is_started() {
     let (out, _, told) = play("wrong", "name: \"x\"\nstep { kill: \"many\" }\n", 4);
     assert_eq!(out.status.code(), Some(2), "{told}");
-    assert!(told.contains(":2:") && told.contains("names no fronts"), "{told}");
+    assert!(
+        told.contains(":2:") && told.contains("names no fronts"),
+        "{told}"
+    );
 }
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -51,23 +51,52 @@
             let last = siblings - 1;
             self.wrong(
                 "front.index",
-                format!("is {}; allowed: 0 to {last}, under front.siblings", front.index),
+                format!(
+                    "is {}; allowed: 0 to {last}, under front.siblings",
+                    front.index
+                ),
             );
         }
-        let zones = self.names("fleet.zone", "", &fleet.zone.iter().map(String::as_str).collect::<Vec<_>>());
-        self.must((1..=255).contains(&zones.len()), "fleet.zone", "1 to 255 zones are allowed");
-        let zone = zones.iter().position(|z| *z == front.zone).unwrap_or_else(|| {
-            self.wrong("front.zone", format!("{:?} is not in fleet.zone: {}", front.zone, zones.join(", ")));
-            0
-        });
+        let zones = self.names(
+            "fleet.zone",
+            "",
+            &fleet.zone.iter().map(String::as_str).collect::<Vec<_>>(),
+        );
+        self.must(
+            (1..=255).contains(&zones.len()),
+            "fleet.zone",
+            "1 to 255 zones are allowed",
+        );
+        let zone = zones
+            .iter()
+            .position(|z| *z == front.zone)
+            .unwrap_or_else(|| {
+                self.wrong(
+                    "front.zone",
+                    format!(
+                        "{:?} is not in fleet.zone: {}",
+                        front.zone,
+                        zones.join(", ")
+                    ),
+                );
+                0
+            });
         let listen = self.address("front.listen", &front.listen);
         let list_service = self.address("front.list_service", &front.list_service);
         let kinds = self.names(
             "fleet.kind",
             ".name",
-            &fleet.kind.iter().map(|k| k.name.as_str()).collect::<Vec<_>>(),
+            &fleet
+                .kind
+                .iter()
+                .map(|k| k.name.as_str())
+                .collect::<Vec<_>>(),
+        );
+        self.must(
+            !kinds.is_empty(),
+            "fleet.kind",
+            "is missing: one kind at least",
         );
-        self.must(!kinds.is_empty(), "fleet.kind", "is missing: one kind at least");
         let places = fleet.kind.iter().enumerate();
         let places = places
             .map(|(i, k)| self.count(&format!("fleet.kind[{i}].places"), k.places, 1, 1_000_000))
@@ -83,17 +112,37 @@
         let note_every = self.time("fleet.note_every", fleet.note_every());
 
         let (rung_kb, rung_worth) = self.ladder(&ladder);
-        let shortfall_cost = self.within("ladder.shortfall_cost", ladder.shortfall_cost(), 0.0, 100.0);
-        let switch_seconds = self.within("ladder.switch_seconds", ladder.switch_seconds(), 0.0, 60.0);
-        let classes =
-            self.names("class", ".name", &raw.class.iter().map(|c| c.name.as_str()).collect::<Vec<_>>());
+        let shortfall_cost =
+            self.within("ladder.shortfall_cost", ladder.shortfall_cost(), 0.0, 100.0);
+        let switch_seconds =
+            self.within("ladder.switch_seconds", ladder.switch_seconds(), 0.0, 60.0);
+        let classes = self.names(
+            "class",
+            ".name",
+            &raw.class
+                .iter()
+                .map(|c| c.name.as_str())
+                .collect::<Vec<_>>(),
+        );
         let rungs = rung_kb.len().max(1) as u32;
-        let (of_class, give_up) = raw.class.iter().enumerate().map(|(i, c)| self.class(i, c, rungs)).unzip();
-        let tenants =
-            self.names("tenant", ".name", &raw.tenant.iter().map(|t| t.name.as_str()).collect::<Vec<_>>());
+        let (of_class, give_up) = raw
+            .class
+            .iter()
+            .enumerate()
+            .map(|(i, c)| self.class(i, c, rungs))
+            .unzip();
+        let tenants = self.names(
+            "tenant",
+            ".name",
+            &raw.tenant
+                .iter()
+                .map(|t| t.name.as_str())
+                .collect::<Vec<_>>(),
+        );
         let quotas = raw.tenant.iter().enumerate();
-        let tenant_quota =
-            quotas.map(|(i, t)| self.within(&format!("tenant[{i}].quota"), t.quota, 0.001, 1e9)).collect();
+        let tenant_quota = quotas
+            .map(|(i, t)| self.within(&format!("tenant[{i}].quota"), t.quota, 0.001, 1e9))
+            .collect();
 
         let (extra_floor, extra_share, extra_window) = match &rules.retry {
             None => (None, 0.0, 0),
@@ -123,7 +172,12 @@
             shortfall_cost,
             switch_seconds,
             tenant_quota,
-            over_share_worth: self.within("rules.over_share_worth", rules.over_share_worth(), 0.0, 1.0),
+            over_share_worth: self.within(
+                "rules.over_share_worth",
+                rules.over_share_worth(),
+                0.0,
+                1.0,
+            ),
             must_ask: false,
             ask_within: 0,
             attempts_cap: self.count("rules.attempts", rules.attempts(), 1, 200),
@@ -138,15 +192,28 @@
             extra_floor,
             extra_share,
             extra_window,
-            cross_zone_price: self.within("rules.cross_zone_price", rules.cross_zone_price(), 0.0, 1.0),
+            cross_zone_price: self.within(
+                "rules.cross_zone_price",
+                rules.cross_zone_price(),
+                0.0,
+                1.0,
+            ),
             move_price: 0.0,
         };
         let terms = Terms {
             give_up,
             answer_margin: self.time("limits.answer_margin", limits.answer_margin()),
             resume: self.time("limits.resume", limits.resume()),
-            back: raw.store.first().map_or(0, |store| self.time("store[0].back", store.back())),
-            open: self.count("limits.open_requests", limits.open_requests(), 1, 10_000_000) as usize,
+            back: raw
+                .store
+                .first()
+                .map_or(0, |store| self.time("store[0].back", store.back())),
+            open: self.count(
+                "limits.open_requests",
+                limits.open_requests(),
+                1,
+                10_000_000,
+            ) as usize,
             open_per_player: self.count(
                 "limits.open_requests_per_connection",
                 limits.open_requests_per_connection(),
@@ -172,12 +239,17 @@
             "log.level",
             "allowed: error, warn, info, debug, trace",
         );
-        self.must(["json", "human"].contains(&log.form()), "log.form", "allowed: json, human");
+        self.must(
+            ["json", "human"].contains(&log.form()),
+            "log.form",
+            "allowed: json, human",
+        );
         Config {
             settings,
             terms,
             limits: Limits {
-                connections: self.count("limits.connections", limits.connections(), 1, 10_000_000) as usize,
+                connections: self.count("limits.connections", limits.connections(), 1, 10_000_000)
+                    as usize,
                 message: self.size("limits.message", limits.message()),
                 unread: self.size("limits.unread", limits.unread()),
                 idle: self.time("limits.idle", limits.idle()),
@@ -209,7 +281,11 @@
 
     fn ladder(&mut self, ladder: &schema::Ladder) -> (Vec<f64>, Vec<f64>) {
         let count = ladder.rung.len();
-        self.must((1..=64).contains(&count), "ladder.rung", "1 to 64 rungs are allowed");
+        self.must(
+            (1..=64).contains(&count),
+            "ladder.rung",
+            "1 to 64 rungs are allowed",
+        );
         let (mut rates, mut worths): (Vec<f64>, Vec<f64>) = (Vec::new(), Vec::new());
         for (i, rung) in ladder.rung.iter().enumerate() {
             let path = format!("ladder.rung[{i}]");
@@ -243,9 +319,10 @@
         let (effect, repeat_within) = match class.effect() {
             schema::Effect::Free => (Effect::Free, 0),
             schema::Effect::Paid => (Effect::SingleShot, 0),
-            schema::Effect::Guarded => {
-                (Effect::Guarded(group), self.time(&path("repeat_within"), &class.repeat_within))
-            }
+            schema::Effect::Guarded => (
+                Effect::Guarded(group),
+                self.time(&path("repeat_within"), &class.repeat_within),
+            ),
             schema::Effect::Unspecified => {
                 self.wrong(&path("effect"), "is missing: FREE, GUARDED or PAID");
                 (Effect::SingleShot, 0)
@@ -254,7 +331,11 @@
         let aim = self.time(&path("aim"), class.aim());
         let give_up = self.time(&path("give_up"), class.give_up());
         let later = "is under aim: viewers would give up before the wanted bound";
-        self.must(give_up >= aim || class.give_up().is_empty(), &path("give_up"), later);
+        self.must(
+            give_up >= aim || class.give_up().is_empty(),
+            &path("give_up"),
+            later,
+        );
         let top = self.count(&path("top"), class.top.unwrap_or(rungs - 1), 0, rungs - 1);
         let floor = self.count(&path("floor"), class.floor, 0, top);
         let checked = Class {
@@ -286,32 +367,63 @@
             let zone = |check: &mut Self, field: &str, name: &str| {
                 let number = zones.iter().position(|z| z == name);
                 if number.is_none() {
-                    check.wrong(&path(field), format!("{name:?} is not in fleet.zone: {}", zones.join(", ")));
+                    check.wrong(
+                        &path(field),
+                        format!("{name:?} is not in fleet.zone: {}", zones.join(", ")),
+                    );
                 }
                 number
             };
-            let (from, to) = (zone(self, "from", &budget.from), zone(self, "to", &budget.to));
+            let (from, to) = (
+                zone(self, "from", &budget.from),
+                zone(self, "to", &budget.to),
+            );
             let apart = from.is_none() || from != to;
-            self.must(apart, &path("to"), "is the zone that it comes from: only what crosses has a budget");
+            self.must(
+                apart,
+                &path("to"),
+                "is the zone that it comes from: only what crosses has a budget",
+            );
             let class = classes.iter().position(|c| *c == budget.class);
             if class.is_none() && !budget.class.is_empty() {
                 let known = classes.join(", ");
-                self.wrong(&path("class"), format!("{:?} is not a class: {known}", budget.class));
+                self.wrong(
+                    &path("class"),
+                    format!("{:?} is not a class: {known}", budget.class),
+                );
             }
             if let Some(first) = seen.insert((from, to, class), i) {
-                let what = format!("the same zones and class as budget[{first}]; a budget stands once");
+                let what =
+                    format!("the same zones and class as budget[{first}]; a budget stands once");
                 self.wrong(&path("from"), what);
             }
             let rate_kb = self.measure(&path("rate"), &budget.rate, Unit::Rate, 0.0);
             let burst = self.measure(&path("burst"), &budget.burst, Unit::Size, 1.0);
             let bounded = !budget.volume.is_empty() || !budget.period.is_empty();
-            let volume =
-                if bounded { self.size(&path("volume"), &budget.volume) as f64 } else { f64::INFINITY };
-            let period = if bounded { self.time(&path("period"), &budget.period) } else { 0 };
+            let volume = if bounded {
+                self.size(&path("volume"), &budget.volume) as f64
+            } else {
+                f64::INFINITY
+            };
+            let period = if bounded {
+                self.time(&path("period"), &budget.period)
+            } else {
+                0
+            };
             let repay = self.time(&path("repay"), budget.repay());
             if let (Some(from), true) = (from, to == Some(own)) {
-                let shared = Shared { rate_kb, burst, volume, period, repay };
-                all.push(Limit { from: from as u8, class: class.map(|c| c as u8), shared });
+                let shared = Shared {
+                    rate_kb,
+                    burst,
+                    volume,
+                    period,
+                    repay,
+                };
+                all.push(Limit {
+                    from: from as u8,
+                    class: class.map(|c| c as u8),
+                    shared,
+                });
             }
         }
         all
@@ -322,13 +434,24 @@
         let peers = peers.first()?;
         let path = |field: &str| format!("peers[0].{field}");
         self.own_name(&path("name"), &peers.name);
-        self.must(!peers.key_file.is_empty(), &path("key_file"), "is missing: a file of 32 hex digits");
+        self.must(
+            !peers.key_file.is_empty(),
+            &path("key_file"),
+            "is missing: a file of 32 hex digits",
+        );
         let seeds = peers.seed.iter().enumerate();
-        let seeds = seeds.map(|(i, seed)| self.address(&format!("peers[0].seed[{i}]"), seed)).collect();
-        let names = peers.way.iter().map(|w| w.name.as_str()).collect::<Vec<_>>();
+        let seeds = seeds
+            .map(|(i, seed)| self.address(&format!("peers[0].seed[{i}]"), seed))
+            .collect();
+        let names = peers
+            .way
+            .iter()
+            .map(|w| w.name.as_str())
+            .collect::<Vec<_>>();
         let names = self.names("peers[0].way", ".name", &names);
         let ways = peers.way.iter().enumerate();
-        let ways = ways.map(|(i, way)| self.address(&format!("peers[0].way[{i}].address"), &way.address));
+        let ways =
+            ways.map(|(i, way)| self.address(&format!("peers[0].way[{i}].address"), &way.address));
         let ways: Vec<_> = ways.collect();
         let probe_every = self.time(&path("probe_every"), peers.probe_every());
         self.must(
@@ -339,7 +462,8 @@
         Some(Peers {
             name: peers.name.clone(),
             listen: self.address(&path("listen"), &peers.listen),
-            address: (!peers.address.is_empty()).then(|| self.address(&path("address"), &peers.address)),
+            address: (!peers.address.is_empty())
+                .then(|| self.address(&path("address"), &peers.address)),
             seeds,
             key_file: peers.key_file.clone().into(),
             datagrams: self.count(&path("datagrams"), peers.datagrams(), 10, 100_000),
@@ -353,9 +477,17 @@
         self.must(stores.len() <= 1, "store[1]", "a store stands once");
         let store = stores.first()?;
         let path = |field: &str| format!("store[0].{field}");
-        self.must(!store.dir.is_empty(), &path("dir"), "is missing: a folder of this front's own");
+        self.must(
+            !store.dir.is_empty(),
+            &path("dir"),
+            "is missing: a folder of this front's own",
+        );
         self.own_name(&path("name"), &store.name);
-        self.must(!store.key_file.is_empty(), &path("key_file"), "is missing: a file of 32 hex digits");
+        self.must(
+            !store.key_file.is_empty(),
+            &path("key_file"),
+            "is missing: a file of 32 hex digits",
+        );
         self.must(
             !store.boot_file().is_empty(),
             &path("boot_file"),
@@ -382,23 +514,55 @@
     /// A front's name for itself.
     fn own_name(&mut self, path: &str, name: &str) {
         let named = !name.is_empty() && name.len() <= 64 && !name.contains(char::is_whitespace);
-        self.must(named, path, "a name of 1 to 64 bytes without spaces is wanted");
+        self.must(
+            named,
+            path,
+            "a name of 1 to 64 bytes without spaces is wanted",
+        );
     }
 
-    fn titles(&mut self, titles: &[schema::Title], cells: u32) -> (HashMap<String, Title>, Vec<String>) {
-        self.names("title", ".name", &titles.iter().map(|t| t.name.as_str()).collect::<Vec<_>>());
+    fn titles(
+        &mut self,
+        titles: &[schema::Title],
+        cells: u32,
+    ) -> (HashMap<String, Title>, Vec<String>) {
+        self.names(
+            "title",
+            ".name",
+            &titles.iter().map(|t| t.name.as_str()).collect::<Vec<_>>(),
+        );
         let mut all = HashMap::new();
         let mut groups = vec![String::new()];
         for (i, title) in titles.iter().enumerate() {
-            let first_cell = self.count(&format!("title[{i}].first_cell"), title.first_cell, 0, cells - 1);
+            let first_cell = self.count(
+                &format!("title[{i}].first_cell"),
+                title.first_cell,
+                0,
+                cells - 1,
+            );
             let copies = self.count(&format!("title[{i}].copies"), title.copies, 1, cells);
-            let group = groups.iter().position(|g| *g == title.group).unwrap_or_else(|| {
-                groups.push(title.group.clone());
-                groups.len() - 1
-            });
-            self.must(group <= 1000, &format!("title[{i}].group"), "1000 groups are allowed at most");
+            let group = groups
+                .iter()
+                .position(|g| *g == title.group)
+                .unwrap_or_else(|| {
+                    groups.push(title.group.clone());
+                    groups.len() - 1
+                });
+            self.must(
+                group <= 1000,
+                &format!("title[{i}].group"),
+                "1000 groups are allowed at most",
+            );
             let group = group as u16;
-            all.insert(title.name.clone(), Title { number: i as u64 + 1, first_cell, copies, group });
+            all.insert(
+                title.name.clone(),
+                Title {
+                    number: i as u64 + 1,
+                    first_cell,
+                    copies,
+                    group,
+                },
+            );
         }
         (all, groups)
     }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -161,7 +161,10 @@
         match self {
             Error::Read(path, e) => write!(f, "{}: {e}", path.display()),
             Error::Wrong(path, problems) => {
-                let lines: Vec<String> = problems.iter().map(|p| format!("{}:{p}", path.display())).collect();
+                let lines: Vec<String> = problems
+                    .iter()
+                    .map(|p| format!("{}:{p}", path.display()))
+                    .collect();
                 f.write_str(&lines.join("\n"))
             }
         }
@@ -193,5 +196,7 @@
 /// As [`load`].
 pub fn filled(path: &Path) -> Result<String, Error> {
     let text = std::fs::read_to_string(path).map_err(|e| Error::Read(path.to_owned(), e))?;
-    check::parse(&text).map(|(_, filled)| filled).map_err(|problems| Error::Wrong(path.to_owned(), problems))
+    check::parse(&text)
+        .map(|(_, filled)| filled)
+        .map_err(|problems| Error::Wrong(path.to_owned(), problems))
 }
--- a/crates/config/tests/check.rs
+++ b/crates/config/tests/check.rs
@@ -33,24 +33,81 @@
 fn each_error_is_named_where_it_stands() {
     for (from, to, line, said) in [
         ("index: 0", "index: 2", "index: 0", "allowed: 0 to 1"),
-        ("zone: \"north\"", "zone: \"nrth\"", "zone: \"north\"", "not in fleet.zone: north, south"),
-        ("aim: \"800ms\"", "aim: \"800kB/s\"", "aim: \"800ms\"", "is not a time such as"),
-        ("rate: \"60kB/s\"", "rate: \"60ms\"", "rate: \"60kB/s\"", "is not a rate such as"),
-        ("unread: \"64KiB\"", "unread: \"64\"", "unread:", "is not a size such as"),
-        ("rate: \"120kB/s\"", "rate: \"50kB/s\"", "rate: \"120kB/s\"", "does not rise"),
-        ("worth: 0.5 }", "worth: 0.1 }", "worth: 0.5 }", "does not rise"),
+        (
+            "zone: \"north\"",
+            "zone: \"nrth\"",
+            "zone: \"north\"",
+            "not in fleet.zone: north, south",
+        ),
+        (
+            "aim: \"800ms\"",
+            "aim: \"800kB/s\"",
+            "aim: \"800ms\"",
+            "is not a time such as",
+        ),
+        (
+            "rate: \"60kB/s\"",
+            "rate: \"60ms\"",
+            "rate: \"60kB/s\"",
+            "is not a rate such as",
+        ),
+        (
+            "unread: \"64KiB\"",
+            "unread: \"64\"",
+            "unread:",
+            "is not a size such as",
+        ),
+        (
+            "rate: \"120kB/s\"",
+            "rate: \"50kB/s\"",
+            "rate: \"120kB/s\"",
+            "does not rise",
+        ),
+        (
+            "worth: 0.5 }",
+            "worth: 0.1 }",
+            "worth: 0.5 }",
+            "does not rise",
+        ),
         ("effect: FREE", "effect: PIAD", "effect: FREE", "PIAD"),
-        ("attempts: 4", "attempts: 0", "attempts: 4", "allowed: 1 to 200"),
+        (
+            "attempts: 4",
+            "attempts: 0",
+            "attempts: 4",
+            "allowed: 1 to 200",
+        ),
         ("copies: 3", "copies: 9", "copies: 3", "allowed: 1 to 4"),
-        ("give_up: \"4s\"", "give_up: \"150ms\"", "give_up: \"4s\"", "under aim"),
-        ("listen: \"127.0.0.1:7400\"", "listen: \"localhost\"", "listen:", "not an address"),
+        (
+            "give_up: \"4s\"",
+            "give_up: \"150ms\"",
+            "give_up: \"4s\"",
+            "under aim",
+        ),
+        (
+            "listen: \"127.0.0.1:7400\"",
+            "listen: \"localhost\"",
+            "listen:",
+            "not an address",
+        ),
         ("siblings: 2", "siblings: -2", "siblings: 2", "expected"),
-        ("cold_share: 0.4", "cold_share: 4", "cold_share: 0.4", "allowed: 0.001 to 1"),
-        ("name: \"mill-weir\"", "name: \"harbour-lights\"", "mill-weir", "taken by title[0]"),
+        (
+            "cold_share: 0.4",
+            "cold_share: 4",
+            "cold_share: 0.4",
+            "allowed: 0.001 to 1",
+        ),
+        (
+            "name: \"mill-weir\"",
+            "name: \"harbour-lights\"",
+            "mill-weir",
+            "taken by title[0]",
+        ),
     ] {
         let found = problems(from, to);
-        let here: Vec<_> =
-            found.iter().filter(|p| p.line == line_of(line) && p.what.contains(said)).collect();
+        let here: Vec<_> = found
+            .iter()
+            .filter(|p| p.line == line_of(line) && p.what.contains(said))
+            .collect();
         assert_eq!(here.len(), 1, "{from} -> {to}: {found:?}");
     }
 }
@@ -59,8 +116,15 @@
 fn unknown_fields_are_listed_with_what_is_allowed() {
     let found = problems("cells: 4", "cels: 4\n  rackz: 1");
     let said: Vec<String> = found.iter().map(ToString::to_string).collect();
-    assert!(said.iter().any(|s| s.contains("no field \"cels\" in fleet; allowed: cells, join")), "{said:?}");
-    assert!(said.iter().any(|s| s.contains("no field \"rackz\"")), "{said:?}");
+    assert!(
+        said.iter()
+            .any(|s| s.contains("no field \"cels\" in fleet; allowed: cells, join")),
+        "{said:?}"
+    );
+    assert!(
+        said.iter().any(|s| s.contains("no field \"rackz\"")),
+        "{said:?}"
+    );
     assert_eq!((found[0].line, found[0].column), (line_of("cells: 4"), 3));
 }
 
@@ -77,25 +141,51 @@
 
 #[test]
 fn an_empty_file_says_what_is_missing() {
-    let said: Vec<String> = parse("").unwrap_err().iter().map(|p| p.what.clone()).collect();
+    let said: Vec<String> = parse("")
+        .unwrap_err()
+        .iter()
+        .map(|p| p.what.clone())
+        .collect();
     for block in ["front", "fleet", "ladder", "class", "title"] {
-        assert!(said.contains(&format!("{block}: is missing")), "{block}: {said:?}");
+        assert!(
+            said.contains(&format!("{block}: is missing")),
+            "{block}: {said:?}"
+        );
     }
 }
 
 #[test]
 fn a_few_lines_are_enough_and_what_they_leave_out_is_filled_in() {
-    let stated = EXAMPLE.lines().filter(|l| !l.trim().is_empty() && !l.starts_with('#')).count();
+    let stated = EXAMPLE
+        .lines()
+        .filter(|l| !l.trim().is_empty() && !l.starts_with('#'))
+        .count();
     assert!(stated <= 12, "{stated} lines");
     let few = parse(EXAMPLE).unwrap();
-    assert_eq!((few.settings.attempts_cap, few.limits.message, few.terms.keys_kept), (3, 65536, 100_000));
-    assert_eq!((few.settings.classes[0].aim, few.settings.classes[1].worth), (1_000_000_000, 1.0));
+    assert_eq!(
+        (
+            few.settings.attempts_cap,
+            few.limits.message,
+            few.terms.keys_kept
+        ),
+        (3, 65536, 100_000)
+    );
+    assert_eq!(
+        (few.settings.classes[0].aim, few.settings.classes[1].worth),
+        (1_000_000_000, 1.0)
+    );
     assert!(few.log_json && few.log_level == "info");
     // Zero is a value, not an absence.
     let said = EXAMPLE.to_owned() + "rules { over_share_worth: 0 cold_share: 0.5 }\n";
     let config = parse(&said).unwrap();
-    assert_eq!((config.settings.over_share_worth, config.settings.cold_share), (0.0, 0.5));
-    assert_eq!(config.settings.attempts_cap, 3, "the rest of the block is filled in all the same");
+    assert_eq!(
+        (config.settings.over_share_worth, config.settings.cold_share),
+        (0.0, 0.5)
+    );
+    assert_eq!(
+        config.settings.attempts_cap, 3,
+        "the rest of the block is filled in all the same"
+    );
 }
 
 #[test]
@@ -105,7 +195,10 @@
         .replace("siblings: 2", "siblings: -2")
         .replace("cells: 4", "cels: 4")
         .replace("effect: FREE", "effect: PIAD")
-        .replace("copies: 3 }\ntitle { name: \"old", "copies: 0 }\ntitle { name: \"old");
+        .replace(
+            "copies: 3 }\ntitle { name: \"old",
+            "copies: 0 }\ntitle { name: \"old",
+        );
     let found = parse(&text).unwrap_err();
     let said: Vec<String> = found.iter().map(ToString::to_string).collect();
     for (line, what) in [
@@ -114,11 +207,22 @@
         ("effect: FREE", "PIAD"),
         ("mill-weir", "title[1].copies"),
     ] {
-        let here = found.iter().filter(|p| p.line == line_of(line) && p.what.contains(what)).count();
+        let here = found
+            .iter()
+            .filter(|p| p.line == line_of(line) && p.what.contains(what))
+            .count();
         assert_eq!(here, 1, "{line}: {said:?}");
     }
-    assert!(!said.iter().any(|s| s.contains("front.siblings: is")), "told once: {said:?}");
-    assert!(!said.iter().any(|s| s.contains("class[1].effect: is missing")), "told once: {said:?}");
+    assert!(
+        !said.iter().any(|s| s.contains("front.siblings: is")),
+        "told once: {said:?}"
+    );
+    assert!(
+        !said
+            .iter()
+            .any(|s| s.contains("class[1].effect: is missing")),
+        "told once: {said:?}"
+    );
 }
 
 proptest! {
@@ -142,18 +246,30 @@
 
 #[test]
 fn budgets_are_those_of_the_fronts_own_zone_and_all_are_checked() {
-    let budget =
-        |more: &str| format!("{GOOD}budget {{ from: \"south\" to: \"north\" rate: \"5MB/s\" {more} }}\n");
+    let budget = |more: &str| {
+        format!("{GOOD}budget {{ from: \"south\" to: \"north\" rate: \"5MB/s\" {more} }}\n")
+    };
     let config = parse(
         &(budget("burst: \"2GiB\"")
             + "budget { from: \"north\" to: \"south\" rate: \"1MB/s\" burst: \"1MiB\" }\n"),
     )
     .unwrap();
-    let [limit] = config.budgets[..] else { panic!("{:?}", config.budgets) };
-    assert_eq!((limit.from, limit.class, limit.shared.rate_kb), (1, None, 5000.0));
-    assert_eq!((limit.shared.volume, limit.shared.repay), (f64::INFINITY, 60_000_000_000));
+    let [limit] = config.budgets[..] else {
+        panic!("{:?}", config.budgets)
+    };
+    assert_eq!(
+        (limit.from, limit.class, limit.shared.rate_kb),
+        (1, None, 5000.0)
+    );
+    assert_eq!(
+        (limit.shared.volume, limit.shared.repay),
+        (f64::INFINITY, 60_000_000_000)
+    );
     let none = parse(&budget("burst: \"1MiB\"").replace("5MB/s", "0kB/s")).unwrap();
-    assert_eq!(none.budgets[0].shared.rate_kb, 0.0, "nothing may cross: a value, not an absence");
+    assert_eq!(
+        none.budgets[0].shared.rate_kb, 0.0,
+        "nothing may cross: a value, not an absence"
+    );
     for (text, said) in [
         (
             budget("burst: \"1MiB\"").replace("from: \"south\" to", "from: \"sth\" to"),
@@ -163,16 +279,28 @@
             budget("burst: \"1MiB\"").replace("from: \"south\" to", "from: \"north\" to"),
             "only what crosses has a budget",
         ),
-        (budget("burst: \"1MiB\" class: \"x\""), "budget[0].class: \"x\" is not a class: paid-view, preview"),
-        (budget("burst: \"1MiB\" volume: \"1GiB\""), "budget[0].period: is missing"),
+        (
+            budget("burst: \"1MiB\" class: \"x\""),
+            "budget[0].class: \"x\" is not a class: paid-view, preview",
+        ),
+        (
+            budget("burst: \"1MiB\" volume: \"1GiB\""),
+            "budget[0].period: is missing",
+        ),
         (budget(""), "budget[0].burst: is missing"),
-        (budget("burst: \"1MiB\"").replace("rate: \"5MB/s\"", ""), "budget[0].rate: is missing"),
+        (
+            budget("burst: \"1MiB\"").replace("rate: \"5MB/s\"", ""),
+            "budget[0].rate: is missing",
+        ),
         (
             budget("burst: \"1MiB\"") + &budget("burst: \"1MiB\"")[GOOD.len()..],
             "the same zones and class as budget[0]",
         ),
     ] {
         let found = parse(&text).unwrap_err();
-        assert!(found.iter().any(|p| p.what.contains(said)), "{said}: {found:?}");
+        assert!(
+            found.iter().any(|p| p.what.contains(said)),
+            "{said}: {found:?}"
+        );
     }
 }
--- a/crates/daemon/src/attempts.rs
+++ b/crates/daemon/src/attempts.rs
@@ -25,8 +25,10 @@
 impl Out {
     /// Nothing more is waited for; what was not written yet never will be.
     pub fn abandon(&self) {
-        let before =
-            std::mem::replace(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner), State::Over);
+        let before = std::mem::replace(
+            &mut *self.0.lock().unwrap_or_else(PoisonError::into_inner),
+            State::Over,
+        );
         if let State::On(socket) = before {
             socket.shut();
         }
@@ -44,8 +46,10 @@
 
     /// The answer is there; false if it was abandoned before.
     fn answered(&self) -> bool {
-        let before =
-            std::mem::replace(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner), State::Over);
+        let before = std::mem::replace(
+            &mut *self.0.lock().unwrap_or_else(PoisonError::into_inner),
+            State::Over,
+        );
         matches!(before, State::On(_))
     }
 }
@@ -82,7 +86,11 @@
     }
     // "Never ran" is claimed only where nothing of the request was written; one byte of it may have been enough.
     if let Err((written, _)) = socket.write_all(bytes) {
-        return ended(if written == 0 { Outcome::ConnectFailed } else { Outcome::Reset });
+        return ended(if written == 0 {
+            Outcome::ConnectFailed
+        } else {
+            Outcome::Reset
+        });
     }
     let mut wire = Wire::new(socket.clone());
     let (response, body) = match wire.response(MOST_ANSWER) {
--- a/crates/daemon/src/books.rs
+++ b/crates/daemon/src/books.rs
@@ -13,7 +13,11 @@
 
 fn exchange(shared: &Shared, address: &SocketAddr, request: &[u8]) -> Option<(u16, Vec<u8>)> {
     let socket = Arc::new(Socket::connect(address, shared.connect_within()).ok()?);
-    let within = shared.config.store.as_ref().map_or(0, |store| store.steps.settle);
+    let within = shared
+        .config
+        .store
+        .as_ref()
+        .map_or(0, |store| store.steps.settle);
     socket.set_expiry(clock::now().saturating_add(within));
     shared.quick.watch(&socket);
     socket.write_all(request).ok()?;
@@ -23,7 +27,11 @@
 
 fn read(status: u16, body: &[u8], server: ServerId) -> Option<Book> {
     if status != 200 {
-        tracing::warn!(server = server.0, status, "a server does not tell what it holds");
+        tracing::warn!(
+            server = server.0,
+            status,
+            "a server does not tell what it holds"
+        );
         return None;
     }
     book::read(body)
@@ -35,8 +43,8 @@
 pub(crate) fn ask(shared: Arc<Shared>, server: ServerId, address: SocketAddr) {
     spawn(Stack::Usual, move || {
         let request = book::ask(&address.to_string(), shared.names.front());
-        let told =
-            exchange(&shared, &address, &request).and_then(|(status, body)| read(status, &body, server));
+        let told = exchange(&shared, &address, &request)
+            .and_then(|(status, body)| read(status, &body, server));
         shared.tell(Msg::Book(server, told));
     });
 }
@@ -45,8 +53,8 @@
 pub(crate) fn fence(shared: Arc<Shared>, server: ServerId, address: SocketAddr, name: String) {
     spawn(Stack::Usual, move || {
         let request = sessions::tear_down(&address.to_string(), &name);
-        let ended =
-            exchange(&shared, &address, &request).is_some_and(|(status, _)| (200..300).contains(&status));
+        let ended = exchange(&shared, &address, &request)
+            .is_some_and(|(status, _)| (200..300).contains(&status));
         shared.tell(Msg::Fenced(server, name, ended));
     });
 }
--- a/crates/daemon/src/contact.rs
+++ b/crates/daemon/src/contact.rs
@@ -52,14 +52,23 @@
         let other_life = self.is_other_life(boot);
         self.boot = Some(boot.to_owned());
         let held: std::collections::BTreeSet<&str> = held.iter().map(String::as_str).collect();
-        let lost =
-            |(name, since): &(String, u64)| *since < begun && (other_life || !held.contains(name.as_str()));
-        self.playing.iter().filter(|(_, session)| lost(session)).map(|(attempt, _)| *attempt).collect()
+        let lost = |(name, since): &(String, u64)| {
+            *since < begun && (other_life || !held.contains(name.as_str()))
+        };
+        self.playing
+            .iter()
+            .filter(|(_, session)| lost(session))
+            .map(|(attempt, _)| *attempt)
+            .collect()
     }
 
     /// The server can't be reached since a call that began at `begun`: which sessions are lost.
     pub fn lost(&self, begun: u64) -> Vec<AttemptId> {
-        self.playing.iter().filter(|(_, (_, since))| *since < begun).map(|(attempt, _)| *attempt).collect()
+        self.playing
+            .iter()
+            .filter(|(_, (_, since))| *since < begun)
+            .map(|(attempt, _)| *attempt)
+            .collect()
     }
 }
 
@@ -85,7 +94,11 @@
 impl Reach {
     /// `silence`: without a word for so long, a server is lost.
     pub fn new(now: u64, silence: u64) -> Reach {
-        Reach { heard: now, silence, misses: 0 }
+        Reach {
+            heard: now,
+            silence,
+            misses: 0,
+        }
     }
 
     pub fn heard(&mut self, now: u64) {
@@ -103,7 +116,10 @@
         let wait = if miss == Miss::Broke && self.misses == 0 {
             0
         } else {
-            PAUSE.0.saturating_mul(1 << self.misses.min(10)).min(PAUSE.1)
+            PAUSE
+                .0
+                .saturating_mul(1 << self.misses.min(10))
+                .min(PAUSE.1)
         };
         self.misses += 1;
         (lost, wait)
@@ -127,7 +143,9 @@
     fn sessions_that_a_server_does_not_hold_are_lost() {
         let mut contact = contact();
         assert_eq!(contact.hello("one", &["b".into()], 30), [AttemptId(1)]);
-        assert!(contact.hello("one", &["a".into(), "b".into()], 30).is_empty());
+        assert!(contact
+            .hello("one", &["a".into(), "b".into()], 30)
+            .is_empty());
     }
 
     #[test]
@@ -141,7 +159,10 @@
     #[test]
     fn another_life_of_a_server_holds_none_of_the_old_ones() {
         let mut contact = contact();
-        assert_eq!(contact.hello("two", &["a".into(), "b".into()], 30), [AttemptId(1), AttemptId(2)]);
+        assert_eq!(
+            contact.hello("two", &["a".into(), "b".into()], 30),
+            [AttemptId(1), AttemptId(2)]
+        );
     }
 
     #[test]
@@ -151,7 +172,11 @@
         assert_eq!(contact.lost(15), [AttemptId(1)]);
         contact.ended(AttemptId(1));
         assert!(contact.lost(15).is_empty());
-        assert!(contact.lost(99).len() == 1 && contact.plays(AttemptId(2)) && !contact.plays(AttemptId(1)));
+        assert!(
+            contact.lost(99).len() == 1
+                && contact.plays(AttemptId(2))
+                && !contact.plays(AttemptId(1))
+        );
     }
 
     #[test]
--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -16,7 +16,9 @@
 
 /// The list as it was when this front last ran, if there is one.
 pub(crate) fn cached(config: &Config) -> io::Result<Option<Held>> {
-    let Some(path) = &config.list_cache else { return Ok(None) };
+    let Some(path) = &config.list_cache else {
+        return Ok(None);
+    };
     match fs::read_to_string(path) {
         Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(None),
         Err(e) => Err(io::Error::new(e.kind(), format!("{}: {e}", path.display()))),
@@ -52,7 +54,9 @@
     let silence = shared.limits().silence;
     socket.set_expiry(clock::now().saturating_add(silence));
     shared.quick.watch(&socket);
-    socket.write_all(&list::subscribe(&address.to_string(), shared.names.front())).ok()?;
+    socket
+        .write_all(&list::subscribe(&address.to_string(), shared.names.front()))
+        .ok()?;
     let mut wire = Wire::new(socket);
     let head = wire.response_head().ok().filter(|h| h.status == 200)?;
     let mut events = wire.events(&head, silence).ok()?;
--- a/crates/daemon/src/errors.rs
+++ b/crates/daemon/src/errors.rs
@@ -53,12 +53,24 @@
     pub fn samples() -> Vec<StartError> {
         let source = || io::Error::from(io::ErrorKind::AddrInUse);
         let own = vec![
-            StartError::Listen { address: ([127, 0, 0, 1], 7400).into(), source: source() },
-            StartError::Kept { source: io::Error::other("FILE: what is wrong with it") },
-            StartError::Key { path: "FILE".into(), what: "is no key: 32 hex digits are wanted".into() },
+            StartError::Listen {
+                address: ([127, 0, 0, 1], 7400).into(),
+                source: source(),
+            },
+            StartError::Kept {
+                source: io::Error::other("FILE: what is wrong with it"),
+            },
+            StartError::Key {
+                path: "FILE".into(),
+                what: "is no key: 32 hex digits are wanted".into(),
+            },
         ];
         own.into_iter()
-            .chain(crankpaddle_store::Error::samples().into_iter().map(StartError::Store))
+            .chain(
+                crankpaddle_store::Error::samples()
+                    .into_iter()
+                    .map(StartError::Store),
+            )
             .collect()
     }
 }
@@ -77,9 +89,16 @@
         };
         let samples = StartError::samples();
         let kinds: std::collections::BTreeSet<i32> = samples.iter().map(kind).collect();
-        assert_eq!(kinds.into_iter().collect::<Vec<_>>(), [0, 1, 2, 3], "a kind has no sample");
+        assert_eq!(
+            kinds.into_iter().collect::<Vec<_>>(),
+            [0, 1, 2, 3],
+            "a kind has no sample"
+        );
         for e in samples {
-            assert!(e.code().is_some() && e.help().is_some_and(|h| h.to_string().len() > 20), "{e}");
+            assert!(
+                e.code().is_some() && e.help().is_some_and(|h| h.to_string().len() > 20),
+                "{e}"
+            );
         }
     }
 }
--- a/crates/daemon/src/hub/effects.rs
+++ b/crates/daemon/src/hub/effects.rs
@@ -18,7 +18,14 @@
             match effect {
                 Effect::Answer(call, answer) => self.answer(call, &answer),
                 Effect::Notify(player, session, notice) => self.notify(player, session, notice),
-                Effect::SetUp { attempt, request, number, server, order, .. } => {
+                Effect::SetUp {
+                    attempt,
+                    request,
+                    number,
+                    server,
+                    order,
+                    ..
+                } => {
                     self.set_up(attempt, request, number, server, &order);
                 }
                 Effect::Holds { .. } => {} // Nothing is adopted here.
@@ -56,21 +63,45 @@
     pub(super) fn answer(&mut self, call: Call, answer: &Answer) {
         let (mut media, mut hall) = (String::new(), "");
         match answer {
-            Answer::Plays { session, attempt, server, rung } => {
+            Answer::Plays {
+                session,
+                attempt,
+                server,
+                rung,
+            } => {
                 if let Some(live) = self.live.get(attempt) {
-                    media = format!("http://{}{}", live.link.address, sessions::media_path(&live.name));
+                    media = format!(
+                        "http://{}{}",
+                        live.link.address,
+                        sessions::media_path(&live.name)
+                    );
                     hall = self.traffic.hall(live.server);
                 }
                 let (request, attempt, server) = (session.0, attempt.0, server.0);
-                tracing::info!(request, attempt, server, rung, player = call.player.0, "plays");
+                tracing::info!(
+                    request,
+                    attempt,
+                    server,
+                    rung,
+                    player = call.player.0,
+                    "plays"
+                );
             }
             Answer::Closed => tracing::debug!(player = call.player.0, call = call.number, "closed"),
-            other => tracing::info!(player = call.player.0, call = call.number, answer = ?other, "answered"),
+            other => {
+                tracing::info!(player = call.player.0, call = call.number, answer = ?other, "answered")
+            }
         }
         if let Some(player) = self.players.get(&call.player) {
-            let session = if let Answer::Plays { session, .. } = answer { Some(*session) } else { None };
+            let session = if let Answer::Plays { session, .. } = answer {
+                Some(*session)
+            } else {
+                None
+            };
             let version = player.version;
-            player.answer(call.number, session, |id| answers::answer(version, id, answer, &media, hall));
+            player.answer(call.number, session, |id| {
+                answers::answer(version, id, answer, &media, hall)
+            });
         }
     }
 
@@ -124,7 +155,15 @@
         self.names.insert(name.clone(), attempt);
         self.traffic.attempt(attempt, number, server, order);
         let address = link.address;
-        self.live.insert(attempt, Live { server, name, link, out: out.clone() });
+        self.live.insert(
+            attempt,
+            Live {
+                server,
+                name,
+                link,
+                out: out.clone(),
+            },
+        );
         self.send(attempt, server, order, address, bytes, out);
     }
 }
--- a/crates/daemon/src/hub/former.rs
+++ b/crates/daemon/src/hub/former.rs
@@ -6,8 +6,8 @@
 use crankpaddle_api::describe::{Fleet, Former};
 use crankpaddle_config::Config;
 use crankpaddle_front::{
-    keys::Past, AttemptId, Ended, Evidence, Input, Listing, Note, Open, Order, Phase, Returning, RosterKind,
-    ServerId, Stage, Time,
+    keys::Past, AttemptId, Ended, Evidence, Input, Listing, Note, Open, Order, Phase, Returning,
+    RosterKind, ServerId, Stage, Time,
 };
 use crankpaddle_net::clock;
 use crankpaddle_recovery::settle::{Step, Verdict};
@@ -33,7 +33,9 @@
     /// Takes up what was kept: the core hears how service returns, and of each paid key of former lives.
     pub(super) fn begin(&mut self, kept: Kept) {
         let now = clock::now();
-        let Some(wanted) = &self.shared.config.store else { return };
+        let Some(wanted) = &self.shared.config.store else {
+            return;
+        };
         let mut returning = Returning::new(wanted.steps, now);
         returning.reading(now);
         returning.read(now, kept.past.ended);
@@ -51,7 +53,12 @@
             Ended::Killed => Former::Killed,
             Ended::PowerLost => Former::PowerLost,
         };
-        let told = Fleet { name: wanted.name.clone(), epoch: kept.past.epoch.0, former, ..Fleet::default() };
+        let told = Fleet {
+            name: wanted.name.clone(),
+            epoch: kept.past.epoch.0,
+            former,
+            ..Fleet::default()
+        };
         self.paid = Some(Paid {
             ledger: Ledger::new(terms.keep_keys / MILLISECOND, terms.keys_kept, intents),
             writer: kept.store.map(|store| Writer::start(store, done)),
@@ -73,8 +80,13 @@
         for (key, intent) in intents {
             match intent.fate {
                 Fate::Out | Fate::Plays => {
-                    let Some(tenant) = tenant(&self.shared.config, &key.tenant) else { continue };
-                    self.tell_core(Input::Unsettled { tenant, key: key.bill.clone() });
+                    let Some(tenant) = tenant(&self.shared.config, &key.tenant) else {
+                        continue;
+                    };
+                    self.tell_core(Input::Unsettled {
+                        tenant,
+                        key: key.bill.clone(),
+                    });
                 }
                 Fate::Spent => self.ran_before(key, &intent.class, Some(Past::Played)),
                 Fate::Failed => self.ran_before(key, &intent.class, Some(Past::Failed)),
@@ -87,18 +99,30 @@
 
     pub(super) fn ran_before(&mut self, key: &Key, class: &str, past: Option<Past>) {
         let config = &self.shared.config;
-        let Some(tenant) = tenant(config, &key.tenant) else { return };
+        let Some(tenant) = tenant(config, &key.tenant) else {
+            return;
+        };
         // A class that is configured no more counts as paid.
         let class = number(&config.classes, class).map_or(u8::MAX, |n| n as u8);
-        self.tell_core(Input::Recovered { tenant, key: key.bill.clone(), class, past });
+        self.tell_core(Input::Recovered {
+            tenant,
+            key: key.bill.clone(),
+            class,
+            past,
+        });
     }
 
     /// Whether lists wait until it is known which servers are cold.
     pub(super) fn waits_for_servers(&mut self, kind: RosterKind, listings: &[Listing]) -> bool {
-        let Some(kept) = self.paid.as_mut().filter(|kept| kept.open) else { return false };
+        let Some(kept) = self.paid.as_mut().filter(|kept| kept.open) else {
+            return false;
+        };
         kept.rosters.push((kind, listings.to_vec()));
-        let there: Vec<u32> =
-            listings.iter().filter(|l| l.phase != Phase::Gone).map(|l| l.server.0).collect();
+        let there: Vec<u32> = listings
+            .iter()
+            .filter(|l| l.phase != Phase::Gone)
+            .map(|l| l.server.0)
+            .collect();
         if !there.is_empty() {
             let steps = kept.settling.listed(there);
             self.tell_core(Input::ServersKnown);
@@ -112,7 +136,11 @@
             let server = match &step {
                 Step::Ask(server) | Step::Fence(server, _) => ServerId(*server),
             };
-            let Some(address) = self.servers.get(&server).and_then(|s| s.link.as_ref()).map(|l| l.address)
+            let Some(address) = self
+                .servers
+                .get(&server)
+                .and_then(|s| s.link.as_ref())
+                .map(|l| l.address)
             else {
                 self.settling(|s| s.silent(server.0));
                 continue;
@@ -126,11 +154,18 @@
     }
 
     pub(super) fn settling<T: Default>(&mut self, does: impl FnOnce(&mut Settling) -> T) -> T {
-        self.paid.as_mut().map(|kept| does(&mut kept.settling)).unwrap_or_default()
+        self.paid
+            .as_mut()
+            .map(|kept| does(&mut kept.settling))
+            .unwrap_or_default()
     }
 
     pub(super) fn look_whether_settled(&mut self) {
-        if self.paid.as_ref().is_some_and(|kept| kept.open && kept.settling.settled()) {
+        if self
+            .paid
+            .as_ref()
+            .is_some_and(|kept| kept.open && kept.settling.settled())
+        {
             self.tell_core(Input::Settled);
         }
     }
@@ -157,8 +192,11 @@
         }
         let shared = self.shared.clone();
         let told = book.told();
-        let (verdicts, steps) =
-            self.settling(|s| s.told(server.0, &told, |name| shared.names.attempt_of(name).is_some()));
+        let (verdicts, steps) = self.settling(|s| {
+            s.told(server.0, &told, |name| {
+                shared.names.attempt_of(name).is_some()
+            })
+        });
         tracing::info!(
             server = server.0,
             age_ms = (clock::now() - start) / MILLISECOND,
@@ -173,7 +211,9 @@
             // Taken for cold since all was settled; it may be younger than that.
             self.started(server, start);
         }
-        verdicts.into_iter().for_each(|verdict| self.verdict(verdict));
+        verdicts
+            .into_iter()
+            .for_each(|verdict| self.verdict(verdict));
         self.take_steps(steps);
     }
 
@@ -190,7 +230,10 @@
                 return;
             }
             Verdict::Drop(server, name) => {
-                tracing::info!(server, "a session whose viewer was told that it failed is ended");
+                tracing::info!(
+                    server,
+                    "a session whose viewer was told that it failed is ended"
+                );
                 return self.end_found(ServerId(server), &name);
             }
             Verdict::Spent(key) => (key, Fate::Spent),
@@ -206,11 +249,25 @@
             None => {
                 let (class, name, boot) = Default::default();
                 let until = ran.saturating_add(keep);
-                Some(kept.ledger.learn(key.clone(), Intent { class, server: 0, name, boot, fate, until }))
+                Some(kept.ledger.learn(
+                    key.clone(),
+                    Intent {
+                        class,
+                        server: 0,
+                        name,
+                        boot,
+                        fate,
+                        until,
+                    },
+                ))
             }
         };
         kept.keep(write);
-        let past = if fate == Fate::Spent { Past::Played } else { Past::Failed };
+        let past = if fate == Fate::Spent {
+            Past::Played
+        } else {
+            Past::Failed
+        };
         self.ran_before(&key, "", Some(past));
     }
 
@@ -230,8 +287,9 @@
         // Danger: after a power loss each server is cold, and a kept list says that it started long ago. What has not told its age
         // itself counts as started now. Harm: a warm server out of reach is spared for as long as one that starts.
         let told = |listing: &mut Listing| {
-            listing.since =
-                starts.get(&listing.server).map_or(listing.since.max(Time(now)), |start| Time(*start));
+            listing.since = starts
+                .get(&listing.server)
+                .map_or(listing.since.max(Time(now)), |start| Time(*start));
         };
         for (kind, mut listings) in std::mem::take(&mut kept.rosters) {
             listings.iter_mut().for_each(told);
@@ -254,11 +312,17 @@
     }
 
     pub(super) fn take_up_finds(&mut self) {
-        let finds = self.paid.as_mut().map(|kept| std::mem::take(&mut kept.finds)).unwrap_or_default();
+        let finds = self
+            .paid
+            .as_mut()
+            .map(|kept| std::mem::take(&mut kept.finds))
+            .unwrap_or_default();
         for (server, held) in finds {
             let config = &self.shared.config;
             let class = number(&config.classes, &held.class);
-            let known = class.zip(tenant(config, &held.key.tenant)).zip(config.titles.get(&held.title));
+            let known = class
+                .zip(tenant(config, &held.key.tenant))
+                .zip(config.titles.get(&held.title));
             let Some(((class, tenant), title)) = known else {
                 tracing::warn!(
                     server = server.0,
@@ -271,7 +335,8 @@
             };
             let open = Open {
                 key: held.key.bill.clone(),
-                viewer: u64::from_str_radix(held.key.bill.get(..16).unwrap_or("0"), 16).unwrap_or(0),
+                viewer: u64::from_str_radix(held.key.bill.get(..16).unwrap_or("0"), 16)
+                    .unwrap_or(0),
                 class: class as u8,
                 tenant,
                 title: title.number,
@@ -284,7 +349,11 @@
             kept.found += 1;
             let token = kept.found;
             kept.finding.insert(token, (server, held));
-            self.tell_core(Input::Found { token, open, server });
+            self.tell_core(Input::Found {
+                token,
+                open,
+                server,
+            });
         }
     }
 
@@ -296,11 +365,17 @@
 
     /// The core holds a session that a server kept, or has no use for it.
     pub(super) fn found(&mut self, token: u64, attempt: Option<AttemptId>) {
-        let Some((server, held)) = self.paid.as_mut().and_then(|kept| kept.finding.remove(&token)) else {
+        let Some((server, held)) = self
+            .paid
+            .as_mut()
+            .and_then(|kept| kept.finding.remove(&token))
+        else {
             return;
         };
         let link = self.servers.get(&server).and_then(|s| s.link.clone());
-        let (Some(attempt), Some(link)) = (attempt, link) else { return self.end_found(server, &held.name) };
+        let (Some(attempt), Some(link)) = (attempt, link) else {
+            return self.end_found(server, &held.name);
+        };
         tracing::info!(
             attempt = attempt.0,
             server = server.0,
@@ -316,8 +391,11 @@
             title: config.titles.get(&held.title).map_or(0, |t| t.number),
             rung: held.rung,
         };
-        let paid =
-            config.settings.classes.get(class).is_some_and(|c| c.effect == crankpaddle::Effect::SingleShot);
+        let paid = config
+            .settings
+            .classes
+            .get(class)
+            .is_some_and(|c| c.effect == crankpaddle::Effect::SingleShot);
         link.held.fetch_add(1, Ordering::AcqRel);
         link.subscribe(&self.shared);
         self.names.insert(held.name.clone(), attempt);
@@ -329,11 +407,26 @@
         let boot = state.contact.boot().unwrap_or_default().to_owned();
         if let Some(kept) = self.paid.as_mut().filter(|_| paid) {
             let (class, name, until) = (held.class.clone(), held.name.clone(), u64::MAX);
-            let intent = Intent { class, server: server.0, name, boot, fate: Fate::Plays, until };
+            let intent = Intent {
+                class,
+                server: server.0,
+                name,
+                boot,
+                fate: Fate::Plays,
+                until,
+            };
             let write = kept.ledger.learn(held.key.clone(), intent);
             kept.keep([write]);
         }
-        self.live.insert(attempt, Live { server, name: held.name, link, out: Arc::default() });
+        self.live.insert(
+            attempt,
+            Live {
+                server,
+                name: held.name,
+                link,
+                out: Arc::default(),
+            },
+        );
         self.tell_core(Input::Note(attempt, Note::Rung(held.rung)));
     }
 
--- a/crates/daemon/src/hub/keeping.rs
+++ b/crates/daemon/src/hub/keeping.rs
@@ -8,7 +8,10 @@
     pub(super) fn keep_house(&mut self) {
         let now = clock::now();
         let rest = self.shared.limits().pool_idle;
-        self.servers.values().filter_map(|s| s.link.as_ref()).for_each(|link| link.rest(now, rest));
+        self.servers
+            .values()
+            .filter_map(|s| s.link.as_ref())
+            .for_each(|link| link.rest(now, rest));
         self.shared.pool.prune();
         self.look_at_traffic(now);
         self.look_at_paid();
@@ -26,7 +29,10 @@
         let wanted = self.traffic.desk.listens(now);
         for (id, state) in &self.servers {
             if let Some(link) = &state.link {
-                link.want(&self.shared, self.list_lost || self.traffic.desk.is_in(id.0, &wanted));
+                link.want(
+                    &self.shared,
+                    self.list_lost || self.traffic.desk.is_in(id.0, &wanted),
+                );
             }
         }
         self.traffic.begin_round();
--- a/crates/daemon/src/hub/mod.rs
+++ b/crates/daemon/src/hub/mod.rs
@@ -15,7 +15,9 @@
 use crate::player::Player;
 use crate::shared::{Msg, Shared};
 use crate::traffic::Traffic;
-use crankpaddle_front::{AttemptId, Core, Effect, Input, Note, PlayerId, RosterKind, ServerId, Time};
+use crankpaddle_front::{
+    AttemptId, Core, Effect, Input, Note, PlayerId, RosterKind, ServerId, Time,
+};
 use crankpaddle_net::{catch_up, clock, recv_until, take};
 use crankpaddle_traffic::report::Report;
 use crankpaddle_upstream::list::Held;
@@ -78,8 +80,17 @@
         let config = &shared.config;
         let seed = config.seed.unwrap_or_else(rand::random);
         tracing::info!(seed, front = shared.names.front(), "starting");
-        let core = Core::new(config.settings.clone(), config.terms.clone(), seed, Time(clock::now()));
-        let titles = config.titles.iter().map(|(name, title)| (title.number, name.clone())).collect();
+        let core = Core::new(
+            config.settings.clone(),
+            config.terms.clone(),
+            seed,
+            Time(clock::now()),
+        );
+        let titles = config
+            .titles
+            .iter()
+            .map(|(name, title)| (title.number, name.clone()))
+            .collect();
         let cache = Keeper::start(config.list_cache.clone(), "the list");
         let accounts = Keeper::start(config.traffic_file.clone(), "the account of traffic");
         let mut hub = Hub {
@@ -114,10 +125,17 @@
         while !self.over() {
             let now = clock::now();
             let due = self.core.next_expiry().map_or(u64::MAX, |t| t.0).min(house);
-            let due = [self.drain_by, self.end_by].into_iter().flatten().fold(due, u64::min);
+            let due = [self.drain_by, self.end_by]
+                .into_iter()
+                .flatten()
+                .fold(due, u64::min);
             let due = if self.traffic.settle_some() { now } else { due };
             let first = if due > now {
-                let step = if self.end_by.is_some() { 20 * MILLISECOND } else { u64::MAX };
+                let step = if self.end_by.is_some() {
+                    20 * MILLISECOND
+                } else {
+                    u64::MAX
+                };
                 match recv_until(inbox, due.min(now.saturating_add(step))) {
                     Ok(msg) => Some(msg),
                     Err(RecvTimeoutError::Timeout) => None,
@@ -139,15 +157,22 @@
             self.drain();
             self.core.expire(Time(clock::now()), &mut self.effects);
             self.carry_out();
-            self.shared.waiting.store(self.core.waiting(), Ordering::Relaxed);
-            self.shared.playing.store(self.core.playing(), Ordering::Relaxed);
+            self.shared
+                .waiting
+                .store(self.core.waiting(), Ordering::Relaxed);
+            self.shared
+                .playing
+                .store(self.core.playing(), Ordering::Relaxed);
         }
         while self.traffic.settle_some() {}
         self.keep_account();
         tracing::info!("ended");
         let in_order = self.core.waiting() == 0 && self.core.playing() == 0;
         let paid = self.paid.and_then(|paid| paid.finish(in_order));
-        [self.cache.finish(), self.account.finish(), paid].into_iter().flatten().collect()
+        [self.cache.finish(), self.account.finish(), paid]
+            .into_iter()
+            .flatten()
+            .collect()
     }
 
     fn hear(&mut self, msg: Msg) {
@@ -169,14 +194,20 @@
             Msg::Hello(server, hello, begun) => {
                 self.traffic.desk.heard(server.0, clock::now());
                 self.lives(server, &hello);
-                let Some(state) = self.servers.get_mut(&server) else { return };
+                let Some(state) = self.servers.get_mut(&server) else {
+                    return;
+                };
                 let lost = state.contact.hello(&hello.boot, &hello.sessions, begun);
                 // What it holds and we do not is an attempt that we gave up: it may stop. Danger: a name of another life may be that of
                 // a session that is just being taken up, or of a process that runs under this front's name.
-                let ours =
-                    |name: &&String| self.paid.is_none() || self.shared.names.attempt_of(name).is_some();
-                let strange =
-                    hello.sessions.iter().filter(|name| !self.names.contains_key(*name)).filter(ours);
+                let ours = |name: &&String| {
+                    self.paid.is_none() || self.shared.names.attempt_of(name).is_some()
+                };
+                let strange = hello
+                    .sessions
+                    .iter()
+                    .filter(|name| !self.names.contains_key(*name))
+                    .filter(ours);
                 if let Some(link) = &state.link {
                     strange.for_each(|name| link.tear_down(&self.shared, name));
                 }
@@ -184,7 +215,9 @@
                 self.may_be_back(server);
             }
             Msg::Notes(name, notes) => {
-                let Some(attempt) = self.names.get(&name).copied() else { return };
+                let Some(attempt) = self.names.get(&name).copied() else {
+                    return;
+                };
                 let server = self.live.get(&attempt).map(|live| live.server);
                 for note in notes {
                     if let (Some(server), Note::Delivered(share)) = (server, note) {
@@ -194,9 +227,12 @@
                 }
             }
             Msg::Over(name, outcome, sent) => {
-                let Some(attempt) = self.names.get(&name).copied() else { return };
+                let Some(attempt) = self.names.get(&name).copied() else {
+                    return;
+                };
                 self.over_at_server(attempt, outcome, false);
-                sent.into_iter().for_each(|sent| self.last_word(attempt, sent));
+                sent.into_iter()
+                    .for_each(|sent| self.last_word(attempt, sent));
             }
             Msg::Traffic(server, traffic) => {
                 let named = |(name, sent): &(String, u64)| Some((*self.names.get(name)?, *sent));
@@ -209,7 +245,10 @@
                 }
             }
             Msg::Budgets(config) => {
-                tracing::info!(budgets = config.budgets.len(), "budgets between halls changed");
+                tracing::info!(
+                    budgets = config.budgets.len(),
+                    "budgets between halls changed"
+                );
                 self.traffic.change(&config);
                 self.tell_crossing();
             }
@@ -223,7 +262,11 @@
                 if self.list_lost {
                     self.started(server, clock::now());
                 }
-                let lost = self.servers.get(&server).map(|s| s.contact.lost(begun)).unwrap_or_default();
+                let lost = self
+                    .servers
+                    .get(&server)
+                    .map(|s| s.contact.lost(begun))
+                    .unwrap_or_default();
                 if !lost.is_empty() {
                     tracing::warn!(server = server.0, sessions = lost.len(), "server lost");
                 }
@@ -244,7 +287,11 @@
             Msg::Members(known) => self.tell_core(Input::Members(known)),
             Msg::Drain => {
                 if self.drain_by.is_none() {
-                    tracing::info!(waiting = self.core.waiting(), playing = self.core.playing(), "draining");
+                    tracing::info!(
+                        waiting = self.core.waiting(),
+                        playing = self.core.playing(),
+                        "draining"
+                    );
                     self.shared.draining.store(true, Ordering::Relaxed);
                     self.drain_by = Some(clock::now().saturating_add(self.shared.limits().drain));
                     self.tell_core(Input::Drain);
--- a/crates/daemon/src/hub/paid.rs
+++ b/crates/daemon/src/hub/paid.rs
@@ -2,7 +2,9 @@
 use super::{Hub, MILLISECOND};
 use crate::attempts::{self, Out};
 use crankpaddle_api::describe::Fleet;
-use crankpaddle_front::{AttemptId, Input, Listing, Order, Outcome, RosterKind, ServerId, SetUp, Stage};
+use crankpaddle_front::{
+    AttemptId, Input, Listing, Order, Outcome, RosterKind, ServerId, SetUp, Stage,
+};
 use crankpaddle_net::clock;
 use crankpaddle_recovery::intents::Came;
 use crankpaddle_recovery::settle::Held;
@@ -47,7 +49,10 @@
     pub(super) fn keep(&self, writes: impl IntoIterator<Item = Write>) {
         let writes: Vec<Write> = writes.into_iter().collect();
         if let Some(writer) = self.writer.as_ref().filter(|_| !writes.is_empty()) {
-            writer.order(ToDisk { writes, token: None });
+            writer.order(ToDisk {
+                writes,
+                token: None,
+            });
         }
     }
 
@@ -61,7 +66,10 @@
         let ran = self.ran();
         let writer = self.writer?;
         let last = [Some(Write::Ran(ran)), in_order.then_some(Write::InOrder)];
-        writer.order(ToDisk { writes: last.into_iter().flatten().collect(), token: None });
+        writer.order(ToDisk {
+            writes: last.into_iter().flatten().collect(),
+            token: None,
+        });
         Some(writer.finish())
     }
 }
@@ -77,7 +85,13 @@
         bytes: Vec<u8>,
         out: Arc<Out>,
     ) {
-        let effect = self.shared.config.settings.classes.get(usize::from(order.class)).map(|c| c.effect);
+        let effect = self
+            .shared
+            .config
+            .settings
+            .classes
+            .get(usize::from(order.class))
+            .map(|c| c.effect);
         let paid = effect == Some(crankpaddle::Effect::SingleShot);
         let Some(kept) = self.paid.as_mut().filter(|_| paid) else {
             return attempts::send(self.shared.clone(), attempt, to, bytes, out);
@@ -85,14 +99,41 @@
         let config = &self.shared.config;
         let of = |names: &[String], n: usize| names.get(n).cloned().unwrap_or_default();
         let tenant = of(&config.tenants, usize::from(order.tenant));
-        let key = Key { tenant, bill: order.key.clone() };
-        let boot = self.servers.get(&server).and_then(|s| s.contact.boot()).unwrap_or_default().to_owned();
+        let key = Key {
+            tenant,
+            bill: order.key.clone(),
+        };
+        let boot = self
+            .servers
+            .get(&server)
+            .and_then(|s| s.contact.boot())
+            .unwrap_or_default()
+            .to_owned();
         let name = self.shared.names.attempt(attempt);
-        let intent =
-            kept.ledger.intend(key, of(&config.classes, usize::from(order.class)), server.0, name, boot);
-        kept.pending.insert(attempt, Pending { address: to, bytes, out });
-        let order = ToDisk { writes: vec![intent], token: Some(attempt.0) };
-        if !kept.writer.as_ref().is_some_and(|writer| writer.order(order)) {
+        let intent = kept.ledger.intend(
+            key,
+            of(&config.classes, usize::from(order.class)),
+            server.0,
+            name,
+            boot,
+        );
+        kept.pending.insert(
+            attempt,
+            Pending {
+                address: to,
+                bytes,
+                out,
+            },
+        );
+        let order = ToDisk {
+            writes: vec![intent],
+            token: Some(attempt.0),
+        };
+        if !kept
+            .writer
+            .as_ref()
+            .is_some_and(|writer| writer.order(order))
+        {
             self.shared.tell(crate::shared::Msg::Stored(attempt, false));
         }
         self.tell_core(Input::KeptBack(attempt, true));
@@ -102,13 +143,24 @@
     pub(super) fn stored(&mut self, attempt: AttemptId, written: bool) {
         let Some(kept) = &mut self.paid else { return };
         kept.failing = !written;
-        let Some(pending) = kept.pending.remove(&attempt) else { return }; // It was given up meanwhile.
+        let Some(pending) = kept.pending.remove(&attempt) else {
+            return;
+        }; // It was given up meanwhile.
         if written {
             self.tell_core(Input::KeptBack(attempt, false));
-            attempts::send(self.shared.clone(), attempt, pending.address, pending.bytes, pending.out);
+            attempts::send(
+                self.shared.clone(),
+                attempt,
+                pending.address,
+                pending.bytes,
+                pending.out,
+            );
         } else {
             // Danger: a paid set-up that leaves unwritten is forgotten by a power loss and sold again. It never leaves.
-            self.set_up_came_out(Input::SetUp(attempt, SetUp::Ended(Outcome::Moot, Vec::new())));
+            self.set_up_came_out(Input::SetUp(
+                attempt,
+                SetUp::Ended(Outcome::Moot, Vec::new()),
+            ));
         }
     }
 
@@ -116,7 +168,11 @@
     pub(super) fn came_out(&mut self, attempt: AttemptId, name: &str, how: Came) {
         let Some(kept) = &mut self.paid else { return };
         // What still waited for the disk has not left, and never will.
-        let how = if kept.pending.remove(&attempt).is_some() { Came::NeverRan } else { how };
+        let how = if kept.pending.remove(&attempt).is_some() {
+            Came::NeverRan
+        } else {
+            how
+        };
         let ran = kept.ran();
         let write = kept.ledger.came_out(name, how, ran);
         kept.keep(write);
@@ -124,9 +180,14 @@
 
     pub(super) fn look_at_paid(&mut self) {
         let wanted = self.core.stage() < Stage::Normal || self.settling(|s| s.open()) > 0;
-        let out_of_reach: Vec<ServerId> =
-            if wanted { self.servers.keys().copied().collect() } else { Vec::new() };
-        out_of_reach.into_iter().for_each(|server| self.may_be_back(server));
+        let out_of_reach: Vec<ServerId> = if wanted {
+            self.servers.keys().copied().collect()
+        } else {
+            Vec::new()
+        };
+        out_of_reach
+            .into_iter()
+            .for_each(|server| self.may_be_back(server));
         let Some(kept) = &mut self.paid else { return };
         kept.looks += 1;
         let ran = kept.ran();
