--- a/crates/daemon/src/hub/servers.rs
+++ b/crates/daemon/src/hub/servers.rs
@@ -17,8 +17,13 @@
     /// the server says; and while nobody tells of starts, all servers are listened to. Harm: a server that does not tell its age, and
     /// was not heard of since it started long ago, is taken for cold until the list tells its start.
     pub(super) fn lives(&mut self, server: ServerId, hello: &Hello) {
-        let Some(state) = self.servers.get(&server) else { return };
-        let (known, other) = (state.contact.boot().is_some(), state.contact.is_other_life(&hello.boot));
+        let Some(state) = self.servers.get(&server) else {
+            return;
+        };
+        let (known, other) = (
+            state.contact.boot().is_some(),
+            state.contact.is_other_life(&hello.boot),
+        );
         let now = clock::now();
         let age = hello.age_ms.map(|age| age.saturating_mul(1_000_000));
         let started = match (known, age) {
@@ -35,20 +40,36 @@
 
     /// A server started at that time, by its own word: if that is later than what is known, it is colder.
     pub(super) fn started(&mut self, server: ServerId, at: u64) {
-        let entry: Vec<list::Entry> =
-            self.held.servers().iter().filter(|e| e.id == server.0).cloned().collect();
+        let entry: Vec<list::Entry> = self
+            .held
+            .servers()
+            .iter()
+            .filter(|e| e.id == server.0)
+            .cloned()
+            .collect();
         let mut listings = self.listings(&entry);
-        listings.iter_mut().for_each(|listing| listing.since = listing.since.max(Time(at)));
+        listings
+            .iter_mut()
+            .for_each(|listing| listing.since = listing.since.max(Time(at)));
         self.tell_core(Input::Roster(RosterKind::Delta, listings));
     }
 
     pub(super) fn set_up_came_out(&mut self, input: Input) {
         if let Input::SetUp(attempt, came_out) = &input {
-            let Some(live) = self.live.get(attempt) else { return };
-            tracing::debug!(attempt = attempt.0, server = live.server.0, ?came_out, "set-up came out");
+            let Some(live) = self.live.get(attempt) else {
+                return;
+            };
+            tracing::debug!(
+                attempt = attempt.0,
+                server = live.server.0,
+                ?came_out,
+                "set-up came out"
+            );
             let (name, how) = (live.name.clone(), came(came_out));
             self.came_out(*attempt, &name, how);
-            let Some(live) = self.live.get(attempt) else { return };
+            let Some(live) = self.live.get(attempt) else {
+                return;
+            };
             if let SetUp::Started(_) = came_out {
                 let (name, now) = (live.name.clone(), clock::now());
                 let state = self.servers.entry(live.server).or_default();
@@ -77,7 +98,9 @@
         self.tell_core(Input::Over(attempt, outcome, Vec::new()));
         // An end that overtook its answer belongs to an attempt that is still out; it is released with that.
         let plays = self.live.get(&attempt).map(|l| l.server);
-        let plays = plays.and_then(|s| self.servers.get(&s)).is_some_and(|s| s.contact.plays(attempt));
+        let plays = plays
+            .and_then(|s| self.servers.get(&s))
+            .is_some_and(|s| s.contact.plays(attempt));
         if plays {
             self.release(attempt, lost);
         }
@@ -109,7 +132,12 @@
             return;
         }
         self.cache.keep(self.held.text());
-        tracing::info!(?kind, serial = list.serial, entries = list.servers.len(), "list");
+        tracing::info!(
+            ?kind,
+            serial = list.serial,
+            entries = list.servers.len(),
+            "list"
+        );
         let listings = self.listings(&list.servers);
         self.roster(kind, listings);
     }
@@ -133,11 +161,20 @@
 
     pub(super) fn roster(&mut self, kind: RosterKind, listings: Vec<Listing>) {
         for listing in &listings {
-            let address = self.held.servers().iter().find(|e| e.id == listing.server.0).map(|e| e.address);
+            let address = self
+                .held
+                .servers()
+                .iter()
+                .find(|e| e.id == listing.server.0)
+                .map(|e| e.address);
             let state = self.servers.entry(listing.server).or_default();
-            self.traffic.desk.listed(listing.server.0, listing.zone, listing.phase != Phase::Gone);
+            self.traffic
+                .desk
+                .listed(listing.server.0, listing.zone, listing.phase != Phase::Gone);
             let known = state.link.as_ref().map(|l| l.address);
-            if let Some(address) = address.filter(|a| known != Some(*a) && listing.phase != Phase::Gone) {
+            if let Some(address) =
+                address.filter(|a| known != Some(*a) && listing.phase != Phase::Gone)
+            {
                 state.link = Some(Link::new(&self.shared, listing.server, address));
             }
         }
--- a/crates/daemon/src/keeper.rs
+++ b/crates/daemon/src/keeper.rs
@@ -11,7 +11,9 @@
 impl Keeper {
     /// Keeps in a file, or nowhere. `what` names the texts in the log.
     pub fn start(path: Option<PathBuf>, what: &'static str) -> Keeper {
-        let Some(path) = path else { return Keeper(None) };
+        let Some(path) = path else {
+            return Keeper(None);
+        };
         let (sender, texts) = mpsc::channel::<String>();
         let thread = std::thread::spawn(move || {
             while let Ok(mut text) = texts.recv() {
--- a/crates/daemon/src/kept.rs
+++ b/crates/daemon/src/kept.rs
@@ -47,23 +47,37 @@
         format!("unknown {:032x}", rand::random::<u128>())
     });
     match store(boot.trim()) {
-        Ok(Taken { store, past, set_aside }) => {
+        Ok(Taken {
+            store,
+            past,
+            set_aside,
+        }) => {
             if let Some((path, why)) = set_aside {
                 let help = advice(&why);
                 tracing::error!(path = %path.display(), %why, help, "the store was no store any more; a new one is begun");
             }
             let (epoch, entries) = (past.epoch.0, past.intents.0.len());
             tracing::info!(name = wanted.name, epoch, entries, former_life = ?past.ended, "store");
-            Ok(Kept { name, store: Some(store), past })
+            Ok(Kept {
+                name,
+                store: Some(store),
+                past,
+            })
         }
         Err(e @ Error::Disk { .. }) => {
             tracing::error!(%e, help = advice(&e), "the store can't be used; nothing that is paid is set up");
-            Ok(Kept { name, store: None, past: unknown() })
+            Ok(Kept {
+                name,
+                store: None,
+                past: unknown(),
+            })
         }
         Err(e) => Err(e.into()),
     }
 }
 
 fn advice(e: &Error) -> String {
-    miette::Diagnostic::help(e).map(|help| help.to_string()).unwrap_or_default()
+    miette::Diagnostic::help(e)
+        .map(|help| help.to_string())
+        .unwrap_or_default()
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -68,20 +68,28 @@
         config: Config,
         store: impl FnOnce(&str) -> Result<crankpaddle_store::Taken, crankpaddle_store::Error>,
     ) -> Result<Daemon, StartError> {
-        let kept = config.store.as_ref().map(|wanted| kept::open_on(wanted, store)).transpose()?;
+        let kept = config
+            .store
+            .as_ref()
+            .map(|wanted| kept::open_on(wanted, store))
+            .transpose()?;
         Daemon::begin(config, kept)
     }
 
     fn begin(config: Config, kept: Option<kept::Kept>) -> Result<Daemon, StartError> {
         let wanted = config.listen;
-        let not_listening = |source| StartError::Listen { address: wanted, source };
+        let not_listening = |source| StartError::Listen {
+            address: wanted,
+            source,
+        };
         let of_former_lives = |source| StartError::Kept { source };
         let cached = directory::cached(&config).map_err(of_former_lives)?;
         let account = traffic::kept(&config).map_err(of_former_lives)?;
         let listener = listen(wanted).map_err(not_listening)?;
         let address = listener.local_addr().map_err(not_listening)?;
         let (peers, link) = config.peers.as_ref().map(peers::open).transpose()?.unzip();
-        let (shared, inbox) = Shared::new(config, link, kept.as_ref().map(|kept| kept.name.clone()));
+        let (shared, inbox) =
+            Shared::new(config, link, kept.as_ref().map(|kept| kept.name.clone()));
         if let Some(peers) = peers {
             let of_peers = shared.clone();
             peers.run(move |known| of_peers.tell(Msg::Members(known)));
@@ -96,9 +104,16 @@
         directory::follow(shared.clone(), stopped.clone());
         players::watch_idle(shared.clone(), stopped.clone());
         let of_players = shared.clone();
-        accept_each(listener, stopped.clone(), move |socket| players::serve(socket, &of_players));
+        accept_each(listener, stopped.clone(), move |socket| {
+            players::serve(socket, &of_players)
+        });
         tracing::info!(%address, "listening");
-        Ok(Daemon { address, shared, stopped, done: Mutex::new(done) })
+        Ok(Daemon {
+            address,
+            shared,
+            stopped,
+            done: Mutex::new(done),
+        })
     }
 
     /// Where it listens.
@@ -113,7 +128,9 @@
     /// What differs that the budgets stand on; the old ones hold on.
     pub fn change_budgets(&self, config: Config) -> Result<(), String> {
         if let Some(what) = traffic::unlike(&self.shared.config, &config) {
-            return Err(format!("{what}: changed, which needs a restart; the budgets in force stay"));
+            return Err(format!(
+                "{what}: changed, which needs a restart; the budgets in force stay"
+            ));
         }
         self.shared.tell(Msg::Budgets(Box::new(config)));
         Ok(())
@@ -126,16 +143,26 @@
 
     /// Waits for the end that [`Daemon::drain`] brings. Call on a thread, not in a coroutine.
     pub fn wait(&self) {
-        let writers = self.done.lock().unwrap_or_else(PoisonError::into_inner).recv();
+        let writers = self
+            .done
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .recv();
         self.shared.peers.iter().for_each(peers::Link::leave);
         // What was to be kept is on disk before the process ends; a writer that panicked has said so.
-        writers.into_iter().flatten().for_each(|writer| drop(writer.join()));
+        writers
+            .into_iter()
+            .flatten()
+            .for_each(|writer| drop(writer.join()));
         self.stopped.store(true, Ordering::Release);
         let _ = TcpStream::connect(self.address); // Wakes the listener, which finds that it is over.
     }
 
     /// Requests without an answer, and sessions that play.
     pub fn counts(&self) -> (usize, usize) {
-        (self.shared.waiting.load(Ordering::Relaxed), self.shared.playing.load(Ordering::Relaxed))
+        (
+            self.shared.waiting.load(Ordering::Relaxed),
+            self.shared.playing.load(Ordering::Relaxed),
+        )
     }
 }
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -53,8 +53,10 @@
         spawn(Stack::Usual, move || {
             let mut kept: Option<Arc<Socket>> = None;
             while let Ok(next) = queue.recv() {
-                let done =
-                    kept.take().filter(|s| s.is_idle()).and_then(|s| carry(&shared, s, &address, &next));
+                let done = kept
+                    .take()
+                    .filter(|s| s.is_idle())
+                    .and_then(|s| carry(&shared, s, &address, &next));
                 kept = done.or_else(|| {
                     let socket = Arc::new(reach(&shared, &address)?);
                     shared.quick.watch(&socket);
@@ -112,7 +114,11 @@
     pub fn rest(&self, now: u64, after: u64) {
         let idle = now.saturating_sub(self.idle_since.load(Ordering::Acquire));
         if self.is_idle() && idle > after {
-            let stream = self.stream.lock().unwrap_or_else(PoisonError::into_inner).upgrade();
+            let stream = self
+                .stream
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .upgrade();
             stream.inspect(|s| s.shut());
         }
     }
@@ -144,8 +150,15 @@
 
     fn call(&self, shared: &Shared) -> Result<Events, Miss> {
         let refused = [ErrorKind::ConnectionRefused, ErrorKind::ConnectionReset];
-        let miss = |e: std::io::Error| if refused.contains(&e.kind()) { Miss::Refused } else { Miss::Silent };
-        let socket = Arc::new(Socket::connect(&self.address, shared.connect_within()).map_err(miss)?);
+        let miss = |e: std::io::Error| {
+            if refused.contains(&e.kind()) {
+                Miss::Refused
+            } else {
+                Miss::Silent
+            }
+        };
+        let socket =
+            Arc::new(Socket::connect(&self.address, shared.connect_within()).map_err(miss)?);
         let silence = shared.limits().silence;
         socket.set_expiry(clock::now().saturating_add(silence));
         shared.quick.watch(&socket);
@@ -171,16 +184,24 @@
                         spoke = true;
                     }
                     Ok(Some(Said::Notes(name, notes))) => shared.tell(Msg::Notes(name, notes)),
-                    Ok(Some(Said::Over(name, outcome, sent))) => shared.tell(Msg::Over(name, outcome, sent)),
+                    Ok(Some(Said::Over(name, outcome, sent))) => {
+                        shared.tell(Msg::Over(name, outcome, sent))
+                    }
                     Ok(Some(Said::Traffic(traffic))) => shared.tell(Msg::Traffic(self.id, traffic)),
                     Ok(None) => {}
-                    Err(what) => tracing::warn!(server = self.id.0, %what, "a server's stream is malformed"),
+                    Err(what) => {
+                        tracing::warn!(server = self.id.0, %what, "a server's stream is malformed")
+                    }
                 },
                 Err(fault) => {
                     if let Fault::Bad(bad) = &fault {
                         tracing::warn!(server = self.id.0, %bad, "a server's stream is malformed");
                     }
-                    let stream = self.stream.lock().unwrap_or_else(PoisonError::into_inner).upgrade();
+                    let stream = self
+                        .stream
+                        .lock()
+                        .unwrap_or_else(PoisonError::into_inner)
+                        .upgrade();
                     if spoke && stream.is_some_and(|s| !s.is_shut()) {
                         shared.tell(Msg::Broke(self.id));
                     }
@@ -223,7 +244,8 @@
     let (response, body) = wire.response(MOST_ANSWER).ok()?;
     if let Control::TearDown(name) = control {
         let last = sessions::tear_down_answer(&response, &body);
-        last.into_iter().for_each(|ended| shared.tell(Msg::Sent(name.clone(), ended.sent_bytes)));
+        last.into_iter()
+            .for_each(|ended| shared.tell(Msg::Sent(name.clone(), ended.sent_bytes)));
     }
     let kept = response.keeps_alive() && wire.is_clean();
     kept.then(|| {
--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/names.rs
@@ -45,7 +45,11 @@
         Named::Class => "class",
         Named::Tenant => "tenant",
     };
-    Error { code: INVALID_PARAMS, message: format!("no {what} {name:?} here"), data }
+    Error {
+        code: INVALID_PARAMS,
+        message: format!("no {what} {name:?} here"),
+        data,
+    }
 }
 
 /// The tenant's number.
@@ -54,7 +58,9 @@
         (true, None) => Ok(0),
         (_, Some(name)) => {
             let number = config.tenants.iter().position(|t| t == name);
-            number.map(|n| n as u16).ok_or_else(|| unknown(Named::Tenant, name))
+            number
+                .map(|n| n as u16)
+                .ok_or_else(|| unknown(Named::Tenant, name))
         }
         (false, None) => Err(unknown(Named::Tenant, "")),
     }
@@ -62,7 +68,10 @@
 
 /// A request in the core's terms.
 pub(crate) fn open(config: &Config, open: methods::Open) -> Result<Open, Error> {
-    let title = config.titles.get(&open.title).ok_or_else(|| unknown(Named::Title, &open.title))?;
+    let title = config
+        .titles
+        .get(&open.title)
+        .ok_or_else(|| unknown(Named::Title, &open.title))?;
     let class = config.classes.iter().position(|c| *c == open.class);
     let class = class.ok_or_else(|| unknown(Named::Class, &open.class))?;
     let viewer = open.viewer.as_deref().unwrap_or(&open.key);
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -68,10 +68,17 @@
 /// The key can't be read, or the address can't be listened on.
 pub(crate) fn open(wanted: &Wanted) -> Result<(Opened, Link), StartError> {
     let key = secret::key(&wanted.key_file)?;
-    let named = |source| StartError::Listen { address: wanted.listen, source };
+    let named = |source| StartError::Listen {
+        address: wanted.listen,
+        source,
+    };
     let socket = Arc::new(UdpSocket::bind(wanted.listen).map_err(named)?);
-    let own = wanted.address.unwrap_or(socket.local_addr().map_err(named)?);
-    let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+    let own = wanted
+        .address
+        .unwrap_or(socket.local_addr().map_err(named)?);
+    let epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or(Duration::ZERO);
     let settings = Settings {
         name: wanted.name.clone(),
         address: own.to_string(),
@@ -88,18 +95,42 @@
     tracing::info!(name = wanted.name, address = %own, seeds = ?settings.seeds, "peers");
     let (tell, inbox) = channel();
     let link = Link(tell.clone());
-    Ok((Opened { settings, socket, ways: wanted.ways.clone(), tell, inbox }, link))
+    Ok((
+        Opened {
+            settings,
+            socket,
+            ways: wanted.ways.clone(),
+            tell,
+            inbox,
+        },
+        link,
+    ))
 }
 
 impl Opened {
     /// Takes part. `known` is told how many fronts are known, this one with them, whenever that changes.
     pub fn run(self, known: impl Fn(u32) + Send + 'static) {
-        let Opened { settings, socket, ways, tell, inbox } = self;
+        let Opened {
+            settings,
+            socket,
+            ways,
+            tell,
+            inbox,
+        } = self;
         let reads = socket.clone();
         spawn(Stack::Usual, move || read(&reads, &tell));
         let peers = Peers::new(settings, rand::random(), clock::now());
         let (out, turns, known) = (Vec::new(), VecDeque::new(), Box::new(known));
-        let rim = Rim { peers, socket, ways, out, turns, turned: 0, known, counted: 0 };
+        let rim = Rim {
+            peers,
+            socket,
+            ways,
+            out,
+            turns,
+            turned: 0,
+            known,
+            counted: 0,
+        };
         spawn(Stack::Large, move || rim.run(&inbox));
     }
 }
@@ -169,7 +200,8 @@
     fn word(&mut self, word: Word) -> bool {
         match word {
             Word::Heard(from, bytes) => {
-                self.peers.hear(clock::now(), &from.to_string(), &bytes, &mut self.out);
+                self.peers
+                    .hear(clock::now(), &from.to_string(), &bytes, &mut self.out);
                 self.carry_out();
                 false
             }
@@ -219,7 +251,11 @@
             sent: counters.sent.0,
             heard: counters.heard,
             dropped: counters.dropped(),
-            counted: counters.named().into_iter().map(|(name, n)| (name.to_owned(), n)).collect(),
+            counted: counters
+                .named()
+                .into_iter()
+                .map(|(name, n)| (name.to_owned(), n))
+                .collect(),
             turns: self.turns.iter().zip(first..).map(turn).collect(),
         }
     }
@@ -227,9 +263,17 @@
     fn carry_out(&mut self) {
         for output in self.out.drain(..) {
             match output {
-                Output::Send { name, address, bytes } => {
+                Output::Send {
+                    name,
+                    address,
+                    bytes,
+                } => {
                     // The front's own book goes before what the other says of itself.
-                    let way = self.ways.get(&name).copied().or_else(|| address.parse().ok());
+                    let way = self
+                        .ways
+                        .get(&name)
+                        .copied()
+                        .or_else(|| address.parse().ok());
                     if let Some(way) = way {
                         // What can't go out at once is lost, as on any net.
                         let _ = self.socket.inner().send_to(&bytes, way);
--- a/crates/daemon/src/player.rs
+++ b/crates/daemon/src/player.rs
@@ -30,13 +30,19 @@
         // Danger: what a lock orders must also be sent under it, or a notice passes the answer that it follows. The
         // sends only queue bytes and never wait.
         let mut calls = self.calls();
-        calls.answer(number, session.map(|s| s.0), with).iter().for_each(|value| self.tell(value));
+        calls
+            .answer(number, session.map(|s| s.0), with)
+            .iter()
+            .for_each(|value| self.tell(value));
     }
 
     /// Tells of a session, behind the answer that makes it known.
     pub fn notify(&self, session: RequestId, notice: Value) {
         let mut calls = self.calls();
-        calls.notice(session.0, notice).iter().for_each(|value| self.tell(value));
+        calls
+            .notice(session.0, notice)
+            .iter()
+            .for_each(|value| self.tell(value));
     }
 
     pub fn calls(&self) -> MutexGuard<'_, Calls> {
@@ -44,12 +50,19 @@
     }
 
     pub fn tell(&self, value: &Value) {
-        self.push(Frame::message(value.to_string(), OpCode::Data(Data::Text), true));
+        self.push(Frame::message(
+            value.to_string(),
+            OpCode::Data(Data::Text),
+            true,
+        ));
     }
 
     /// Says that the front goes away.
     pub fn close(&self) {
-        let reason = CloseFrame { code: CloseCode::Away, reason: "the front stops".into() };
+        let reason = CloseFrame {
+            code: CloseCode::Away,
+            reason: "the front stops".into(),
+        };
         self.push(Frame::close(Some(reason)));
         self.outbox.socket().set_expiry(clock::now() + LINGER / 2);
     }
--- a/crates/daemon/src/players.rs
+++ b/crates/daemon/src/players.rs
@@ -36,7 +36,9 @@
         while !until.load(Ordering::Acquire) {
             let now = clock::now();
             let alive = |player: &std::sync::Weak<Player>| {
-                let Some(player) = player.upgrade() else { return false };
+                let Some(player) = player.upgrade() else {
+                    return false;
+                };
                 let heard = player.heard.load(Ordering::Relaxed);
                 match silence(now, heard, player.pinged.load(Ordering::Relaxed), idle) {
                     Silence::Ping => {
@@ -48,7 +50,11 @@
                 }
                 true
             };
-            shared.players.lock().unwrap_or_else(PoisonError::into_inner).retain(alive);
+            shared
+                .players
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .retain(alive);
             sleep(Duration::from_millis(500));
         }
     });
@@ -73,7 +79,8 @@
         let request = match wire.request(MOST_BODY, limits.handshake) {
             Ok((request, _)) => request,
             Err(Fault::Bad(bad)) => {
-                let problem = Problem::of(bad.status, bad.what).response(&[("connection", "close")]);
+                let problem =
+                    Problem::of(bad.status, bad.what).response(&[("connection", "close")]);
                 let _ = socket.write_all(&problem); // Broken: it is over all the same.
                 return socket.finish(LINGER);
             }
@@ -81,7 +88,9 @@
         };
         if wants_websocket(&request) {
             match accept(&request) {
-                Ok((version, answer)) => return talk(shared, &socket, wire.into_rest(), version, &answer),
+                Ok((version, answer)) => {
+                    return talk(shared, &socket, wire.into_rest(), version, &answer)
+                }
                 Err(problem) => {
                     let _ = socket.write_all(&problem); // As above.
                     return socket.finish(LINGER);
@@ -115,7 +124,8 @@
 // ---- HTTP ----
 
 fn wants_websocket(request: &Request) -> bool {
-    request.fields.has_word("upgrade", "websocket") && request.fields.has_word("connection", "upgrade")
+    request.fields.has_word("upgrade", "websocket")
+        && request.fields.has_word("connection", "upgrade")
 }
 
 /// The answer to an opening handshake (RFC 6455, 4.2), or the refusal.
@@ -143,17 +153,29 @@
         return refuse(400, "Sec-WebSocket-Key is 16 bytes in base64, once");
     }
     let offers = request.fields.get("sec-websocket-protocol").is_some();
-    let offered = request.fields.all("sec-websocket-protocol").flat_map(|v| v.split(','));
+    let offered = request
+        .fields
+        .all("sec-websocket-protocol")
+        .flat_map(|v| v.split(','));
     let ours = Version::of_offers(offered);
     if offers && ours.is_none() {
         let known = Version::SERVED.map(Version::subprotocol).join(", ");
-        return refuse(400, &format!("no known subprotocol is offered; known: {known}"));
+        return refuse(
+            400,
+            &format!("no known subprotocol is offered; known: {known}"),
+        );
     }
     let accepted = handshake::derive_accept_key(key.as_bytes());
-    let mut fields =
-        vec![("upgrade", "websocket"), ("connection", "Upgrade"), ("sec-websocket-accept", &accepted)];
+    let mut fields = vec![
+        ("upgrade", "websocket"),
+        ("connection", "Upgrade"),
+        ("sec-websocket-accept", &accepted),
+    ];
     fields.extend(ours.map(|version| ("sec-websocket-protocol", version.subprotocol())));
-    Ok((ours.unwrap_or(Version::V1), head::response(101, &fields, b"")))
+    Ok((
+        ours.unwrap_or(Version::V1),
+        head::response(101, &fields, b""),
+    ))
 }
 
 /// The descriptions of what is spoken here, as they are published.
@@ -178,14 +200,22 @@
             let draining = shared.draining.load(Ordering::Relaxed);
             let count = |of: &AtomicUsize| of.load(Ordering::Relaxed) as u64;
             let health = Health {
-                state: if draining { State::Draining } else { State::Ready },
+                state: if draining {
+                    State::Draining
+                } else {
+                    State::Ready
+                },
                 waiting: count(&shared.waiting),
                 playing: count(&shared.playing),
                 connections: count(&shared.connections),
             };
             let body = serde_json::to_string(&health).unwrap_or_default();
             let status = if draining { 503 } else { 200 };
-            head::response(status, &[("content-type", "application/json"), connection], body.as_bytes())
+            head::response(
+                status,
+                &[("content-type", "application/json"), connection],
+                body.as_bytes(),
+            )
         }
         ("GET", "/traffic") => {
             let (answer, told) = may::sync::mpsc::channel();
@@ -240,7 +270,9 @@
         }
         (_, path) => problem(
             404,
-            &format!("nothing at {path}; known: /api, /fleet, /health, /members, /session, /traffic"),
+            &format!(
+                "nothing at {path}; known: /api, /fleet, /health, /members, /session, /traffic"
+            ),
             &[],
         ),
     }
@@ -292,7 +324,13 @@
     }
 }
 
-fn talk(shared: &Arc<Shared>, socket: &Arc<Socket>, rest: Vec<u8>, version: Version, answer: &[u8]) {
+fn talk(
+    shared: &Arc<Shared>,
+    socket: &Arc<Socket>,
+    rest: Vec<u8>,
+    version: Version,
+    answer: &[u8],
+) {
     let limits = shared.limits();
     socket.set_expiry(u64::MAX);
     let player = Arc::new(Player {
@@ -303,7 +341,11 @@
         heard: AtomicU64::new(clock::now()),
         pinged: AtomicU64::new(0),
     });
-    shared.players.lock().unwrap_or_else(PoisonError::into_inner).push(Arc::downgrade(&player));
+    shared
+        .players
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .push(Arc::downgrade(&player));
     shared.tell(Msg::Joined(player.clone()));
     let leaves = Leaves(shared.clone(), player.id);
     player.outbox.push(answer);
@@ -316,14 +358,21 @@
     let code = converse(shared, &player, &mut context);
     drop(leaves);
     if let Some((code, reason)) = code {
-        player.push(Frame::close(Some(CloseFrame { code, reason: reason.into() })));
+        player.push(Frame::close(Some(CloseFrame {
+            code,
+            reason: reason.into(),
+        })));
     }
     player.outbox.flush();
     socket.finish(LINGER);
 }
 
 /// Reads until the end; the code to close with, where it is ours to say.
-fn converse(shared: &Shared, player: &Player, context: &mut WebSocketContext) -> Option<(CloseCode, String)> {
+fn converse(
+    shared: &Shared,
+    player: &Player,
+    context: &mut WebSocketContext,
+) -> Option<(CloseCode, String)> {
     use tungstenite::error::CapacityError;
     use tungstenite::Error as E;
     let mut stream = Stream { player };
@@ -331,10 +380,15 @@
     loop {
         match context.read(&mut stream) {
             Ok(Message::Text(text)) => hear(shared, player, &text, &mut calls),
-            Ok(Message::Binary(_)) => return Some((CloseCode::Unsupported, "texts are spoken here".into())),
+            Ok(Message::Binary(_)) => {
+                return Some((CloseCode::Unsupported, "texts are spoken here".into()))
+            }
             Ok(_) => {} // Pings are answered and closes returned by the context's next read.
             Err(E::Capacity(CapacityError::MessageTooLong { max_size, .. })) => {
-                return Some((CloseCode::Size, format!("a message has {max_size} bytes at most")));
+                return Some((
+                    CloseCode::Size,
+                    format!("a message has {max_size} bytes at most"),
+                ));
             }
             Err(E::Utf8(_)) => return Some((CloseCode::Invalid, "a text is UTF-8".into())),
             Err(E::Protocol(what)) => {
@@ -356,11 +410,19 @@
     Ok(match method {
         Method::Open(open) => {
             let open = names::open(config, open)?;
-            Input::Open { call, open, received: Time(clock::now()) }
+            Input::Open {
+                call,
+                open,
+                received: Time(clock::now()),
+            }
         }
         Method::Resume(resume) => {
             let tenant = names::tenant(config, resume.tenant.as_deref())?;
-            Input::Resume { call, tenant, key: crankpaddle_upstream::sessions::bill(&resume.key) }
+            Input::Resume {
+                call,
+                tenant,
+                key: crankpaddle_upstream::sessions::bill(&resume.key),
+            }
         }
         Method::Close(close) => {
             // A name that is none of ours is a session that nobody has.
@@ -375,9 +437,14 @@
         Rpc::One(member) => (vec![member], false),
         Rpc::Batch(members) => (members, true),
     };
-    let owed = members.iter().filter(|m| m.as_ref().map_or(true, |call| call.id.is_some())).count();
+    let owed = members
+        .iter()
+        .filter(|m| m.as_ref().map_or(true, |call| call.id.is_some()))
+        .count();
     let batch = together.then_some(*calls + 1);
-    batch.into_iter().for_each(|number| player.calls().begin(number, owed));
+    batch
+        .into_iter()
+        .for_each(|number| player.calls().begin(number, owed));
     let mut inputs = Vec::new();
     for member in members {
         *calls += 1;
@@ -386,7 +453,10 @@
             Err((id, error)) => Err((Some(id), error)),
             Ok(call) => {
                 let read = Method::of(&call.method, call.params);
-                let at = Call { player: player.id, number };
+                let at = Call {
+                    player: player.id,
+                    number,
+                };
                 match read.and_then(|method| input(shared, at, method)) {
                     // A set-up without an answer would play for nobody.
                     Ok(Input::Open { .. } | Input::Resume { .. }) if call.id.is_none() => continue,
@@ -411,10 +481,21 @@
         }
     }
     // The answers of a batch go back together, so none may be waited for longer than the most impatient wants.
-    let patience = |input: &Input| if let Input::Open { open, .. } = input { open.give_up } else { u64::MAX };
+    let patience = |input: &Input| {
+        if let Input::Open { open, .. } = input {
+            open.give_up
+        } else {
+            u64::MAX
+        }
+    };
     let bound = |input: &Input| match input {
         Input::Open { open, .. } => {
-            let of_class = shared.config.terms.give_up.get(usize::from(open.class)).copied();
+            let of_class = shared
+                .config
+                .terms
+                .give_up
+                .get(usize::from(open.class))
+                .copied();
             patience(input).min(of_class.unwrap_or(u64::MAX))
         }
         _ => u64::MAX,
--- a/crates/daemon/src/traffic.rs
+++ b/crates/daemon/src/traffic.rs
@@ -38,7 +38,10 @@
         kb: s.rung_kb.iter().map(|kb| kb * c.rate_factor).collect(),
     };
     Terms {
-        place: Place { index: s.index, siblings: s.siblings },
+        place: Place {
+            index: s.index,
+            siblings: s.siblings,
+        },
         zone: s.zone,
         classes: s.classes.iter().map(class).collect(),
         limits: config.budgets.clone(),
@@ -49,7 +52,10 @@
 /// What keeps the budgets of another configuration from being taken over while the front runs.
 pub(crate) fn unlike(old: &Config, new: &Config) -> Option<&'static str> {
     let (before, after) = (terms(old), terms(new));
-    let without = |t: &Terms| Terms { limits: Vec::new(), ..t.clone() };
+    let without = |t: &Terms| Terms {
+        limits: Vec::new(),
+        ..t.clone()
+    };
     // A new zone, class, tenant or group at the end moves no number; the account knows the others by theirs.
     let moved = |old: &[String], new: &[String]| !new.starts_with(old);
     if (before.place, before.zone) != (after.place, after.zone) {
@@ -68,7 +74,9 @@
 /// # Errors
 /// The file is there and can't be read, or holds something else: an account that would begin at nothing unseen.
 pub(crate) fn kept(config: &Config) -> io::Result<Option<Report>> {
-    let Some(path) = &config.traffic_file else { return Ok(None) };
+    let Some(path) = &config.traffic_file else {
+        return Ok(None);
+    };
     let wrong = |what: String| io::Error::other(format!("{}: {what}", path.display()));
     let text = match fs::read_to_string(path) {
         Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
@@ -78,7 +86,10 @@
     let report: Report =
         serde_json::from_str(&text).map_err(|e| wrong(format!("no account of traffic: {e}")))?;
     if report.front != config.settings.index {
-        return Err(wrong(format!("is the account of front {}, not of this one", report.front)));
+        return Err(wrong(format!(
+            "is the account of front {}, not of this one",
+            report.front
+        )));
     }
     Ok(Some(report))
 }
@@ -89,30 +100,61 @@
         if let Some(report) = kept {
             desk.restore(&report.kept(&names));
         }
-        let groups = config.titles.values().map(|t| (t.number, t.group)).collect();
+        let groups = config
+            .titles
+            .values()
+            .map(|t| (t.number, t.group))
+            .collect();
         let (front, zone) = (config.settings.index, config.settings.zone);
-        Traffic { desk, names, front, zone, groups, settling: false }
+        Traffic {
+            desk,
+            names,
+            front,
+            zone,
+            groups,
+            settling: false,
+        }
     }
 
     /// The name of a server's zone; empty where it is not listed.
     pub fn hall(&self, server: ServerId) -> &str {
-        let zone = self.desk.zone(server.0).and_then(|zone| self.names.zones.get(usize::from(zone)));
+        let zone = self
+            .desk
+            .zone(server.0)
+            .and_then(|zone| self.names.zones.get(usize::from(zone)));
         zone.map_or("", String::as_str)
     }
 
     pub fn attempt(&mut self, id: AttemptId, number: u8, server: ServerId, order: &Order) {
         let group = self.groups.get(&order.title).copied().unwrap_or(0);
         let (server, class, tenant, rung) = (server.0, order.class, order.tenant, order.rung);
-        self.desk.attempt(Attempt { id: id.0, number, server, class, tenant, group, rung });
+        self.desk.attempt(Attempt {
+            id: id.0,
+            number,
+            server,
+            class,
+            tenant,
+            group,
+            rung,
+        });
     }
 
     /// What a server counted of this front's sessions, by their numbers, and of what crosses to its zone.
-    pub fn counted(&mut self, server: ServerId, sent: &[(AttemptId, u64)], crossing: &[notes::Crossing]) {
+    pub fn counted(
+        &mut self,
+        server: ServerId,
+        sent: &[(AttemptId, u64)],
+        crossing: &[notes::Crossing],
+    ) {
         let now = clock::now();
-        sent.iter().for_each(|(attempt, bytes)| self.desk.counted(attempt.0, *bytes, now));
+        sent.iter()
+            .for_each(|(attempt, bytes)| self.desk.counted(attempt.0, *bytes, now));
         let own = self.names.zones.get(usize::from(self.zone));
         let mut kb: BTreeMap<u8, f64> = BTreeMap::new();
-        for c in crossing.iter().filter(|c| Some(&c.to) == own && c.rate.is_finite()) {
+        for c in crossing
+            .iter()
+            .filter(|c| Some(&c.to) == own && c.rate.is_finite())
+        {
             if let Some(class) = self.names.classes.iter().position(|name| *name == c.class) {
                 *kb.entry(class as u8).or_default() += c.rate / 1000.0;
             }
@@ -141,7 +183,13 @@
 
     /// The report as JSON.
     pub fn report(&mut self) -> String {
-        let report = Report::of(&mut self.desk, self.front, self.zone, &self.names, clock::now());
+        let report = Report::of(
+            &mut self.desk,
+            self.front,
+            self.zone,
+            &self.names,
+            clock::now(),
+        );
         serde_json::to_string(&report).unwrap_or_default()
     }
 }
--- a/crates/daemon/tests/described.rs
+++ b/crates/daemon/tests/described.rs
@@ -32,15 +32,31 @@
         stream.read_to_string(&mut answer).unwrap();
         let (head, body) = answer.split_once("\r\n\r\n").expect("an answer");
         let status: u16 = head.split(' ').nth(1).unwrap().parse().unwrap();
-        let media = head.lines().find_map(|l| l.strip_prefix("content-type: ")).unwrap_or("").to_owned();
+        let media = head
+            .lines()
+            .find_map(|l| l.strip_prefix("content-type: "))
+            .unwrap_or("")
+            .to_owned();
         let mut words = request.split(' ');
-        let (method, path) = (words.next().unwrap_or("").to_owned(), words.next().unwrap_or("").to_owned());
-        self.add(Exchange::Http { method, path, status, media, body: body.to_owned() });
+        let (method, path) = (
+            words.next().unwrap_or("").to_owned(),
+            words.next().unwrap_or("").to_owned(),
+        );
+        self.add(Exchange::Http {
+            method,
+            path,
+            status,
+            media,
+            body: body.to_owned(),
+        });
         status
     }
 
     fn get(&self, address: SocketAddr, path: &str) -> u16 {
-        self.http(address, &format!("GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"))
+        self.http(
+            address,
+            &format!("GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"),
+        )
     }
 }
 
@@ -55,28 +71,54 @@
     fn connect(address: SocketAddr, version: Version, tape: &Tape) -> Player {
         let stream = TcpStream::connect(address).unwrap();
         stream.set_read_timeout(Some(LONG)).unwrap();
-        let mut request = format!("ws://{address}/session").into_client_request().unwrap();
+        let mut request = format!("ws://{address}/session")
+            .into_client_request()
+            .unwrap();
         let named = version.subprotocol();
-        request.headers_mut().insert("sec-websocket-protocol", named.parse().unwrap());
+        request
+            .headers_mut()
+            .insert("sec-websocket-protocol", named.parse().unwrap());
         let (socket, answer) = tungstenite::client::client(request, stream).unwrap();
         assert_eq!(answer.headers()["sec-websocket-protocol"], named);
-        let (method, path, media, body) = ("GET".into(), "/session".into(), String::new(), String::new());
-        tape.add(Exchange::Http { method, path, status: answer.status().as_u16(), media, body });
-        Player { socket, tape: tape.clone(), calls: 0 }
+        let (method, path, media, body) = (
+            "GET".into(),
+            "/session".into(),
+            String::new(),
+            String::new(),
+        );
+        tape.add(Exchange::Http {
+            method,
+            path,
+            status: answer.status().as_u16(),
+            media,
+            body,
+        });
+        Player {
+            socket,
+            tape: tape.clone(),
+            calls: 0,
+        }
     }
 
     fn say(&mut self, text: &str) {
-        self.tape.add(Exchange::Text { call: true, text: text.to_owned() });
+        self.tape.add(Exchange::Text {
+            call: true,
+            text: text.to_owned(),
+        });
         self.socket.send(Message::text(text)).unwrap();
     }
 
     /// Reads until a message is what is waited for.
     fn until(&mut self, what: &str, wanted: impl Fn(&Value) -> bool) -> Value {
         loop {
-            let Message::Text(text) = self.socket.read().unwrap_or_else(|e| panic!("{what}: {e}")) else {
+            let Message::Text(text) = self.socket.read().unwrap_or_else(|e| panic!("{what}: {e}"))
+            else {
                 continue;
             };
-            self.tape.add(Exchange::Text { call: false, text: text.to_string() });
+            self.tape.add(Exchange::Text {
+                call: false,
+                text: text.to_string(),
+            });
             let value: Value = serde_json::from_str(&text).unwrap();
             if wanted(&value) {
                 return value;
@@ -87,7 +129,9 @@
     fn call(&mut self, method: &str, params: Value) -> u64 {
         self.calls += 1;
         let id = self.calls;
-        self.say(&json!({"jsonrpc": "2.0", "id": id, "method": method, "params": params}).to_string());
+        self.say(
+            &json!({"jsonrpc": "2.0", "id": id, "method": method, "params": params}).to_string(),
+        );
         id
     }
 
@@ -117,8 +161,15 @@
 /// The same, with something done before the front starts.
 fn rig_of(changes: &[(&str, &str)], before: impl FnOnce(&Stage)) -> Rig {
     let tenant = ("log {", "tenant { name: \"main\" quota: 100000 }\nlog {");
-    let group = ("title { name: \"clip-00\"", "title { group: \"sport\" name: \"clip-00\"");
-    Rig::on(Stage::new(&[&[tenant, group], changes].concat()), "main", before)
+    let group = (
+        "title { name: \"clip-00\"",
+        "title { group: \"sport\" name: \"clip-00\"",
+    );
+    Rig::on(
+        Stage::new(&[&[tenant, group], changes].concat()),
+        "main",
+        before,
+    )
 }
 
 fn reason(answer: &Value) -> &str {
@@ -136,25 +187,47 @@
             "give_up_ms": 1900, "hint_ms": 60000, "again": true}),
     );
     let session = opened["result"]["session"].clone();
-    assert_eq!(opened["result"]["hall"].is_string(), version == Version::V2, "{opened}");
+    assert_eq!(
+        opened["result"]["hall"].is_string(),
+        version == Version::V2,
+        "{opened}"
+    );
     let mut other = Player::connect(address, version, tape);
-    let resumed = other.ask("session.resume", json!({"key": "everything-1", "tenant": "main"}));
+    let resumed = other.ask(
+        "session.resume",
+        json!({"key": "everything-1", "tenant": "main"}),
+    );
     assert_eq!(resumed["result"]["session"], session);
     assert_eq!(p.notice("session.end")["reason"], "taken_over");
-    assert_eq!(other.ask("session.close", json!({"session": session}))["result"]["closed"], true);
-    assert_eq!(other.ask("session.close", json!({"session": session}))["error"]["code"], -32004);
+    assert_eq!(
+        other.ask("session.close", json!({"session": session}))["result"]["closed"],
+        true
+    );
+    assert_eq!(
+        other.ask("session.close", json!({"session": session}))["error"]["code"],
+        -32004
+    );
     p.say("{");
     p.until("a parse error", |v| v["error"]["code"] == -32700);
     p.say("[]");
     p.until("an invalid request", |v| v["error"]["code"] == -32600);
     assert_eq!(p.ask("session.fly", json!({}))["error"]["code"], -32601);
-    assert_eq!(p.ask("session.open", json!({"key": "short"}))["error"]["code"], -32602);
+    assert_eq!(
+        p.ask("session.open", json!({"key": "short"}))["error"]["code"],
+        -32602
+    );
     for (field, params) in [
         ("title", open("unknown-names", FREE, "none")),
         ("class", open("unknown-names", "none", "clip-01")),
-        ("tenant", json!({"key": "unknown-names", "class": FREE, "title": "clip-01", "tenant": "none"})),
+        (
+            "tenant",
+            json!({"key": "unknown-names", "class": FREE, "title": "clip-01", "tenant": "none"}),
+        ),
     ] {
-        assert_eq!(p.ask("session.open", params)["error"]["data"]["field"], field);
+        assert_eq!(
+            p.ask("session.open", params)["error"]["data"]["field"],
+            field
+        );
     }
     let member = |id: u64, key: &str| json!({"jsonrpc": "2.0", "id": id, "method": "session.open", "params": open(key, FREE, "clip-02")});
     p.say(&json!([member(900, "batched-01"), member(901, "batched-02")]).to_string());
@@ -185,11 +258,17 @@
 
 /// Servers that fail paid set-ups in each way, and players that leave or come twice.
 fn failures(version: Version, tape: &Tape) {
-    let rig = rig(&[("open_requests_per_connection: 64", "open_requests_per_connection: 2")]);
+    let rig = rig(&[(
+        "open_requests_per_connection: 64",
+        "open_requests_per_connection: 2",
+    )]);
     let address = rig.daemon.address();
     let mut p = Player::connect(address, version, tape);
     rig.modes(|m| m.errors = 1.0);
-    assert_eq!(reason(&p.open("error-paid-1", PAID, "clip-00")), "server_error");
+    assert_eq!(
+        reason(&p.open("error-paid-1", PAID, "clip-00")),
+        "server_error"
+    );
     rig.modes(|m| (m.errors, m.bills_and_resets) = (0.0, 1.0));
     assert_eq!(reason(&p.open("reset-paid-1", PAID, "clip-05")), "broken");
     rig.modes(|m| (m.bills_and_resets, m.hangs) = (0.0, true));
@@ -201,15 +280,25 @@
     wait("its attempt to be out", || rig.of_key("no-answer-1").0 == 1);
     let mut second = Player::connect(address, version, tape);
     let joined = second.call("session.open", open("no-answer-1", PAID, "clip-01"));
-    p.until("the first to be superseded", |v| v["id"] == first && v["error"]["code"] == -32003);
+    p.until("the first to be superseded", |v| {
+        v["id"] == first && v["error"]["code"] == -32003
+    });
     let answer = second.until("the failure", |v| v["id"] == joined);
     assert_eq!(reason(&answer), "no_answer");
-    wait("the one who left to be given up", || rig.daemon.counts().0 == 0);
+    wait("the one who left to be given up", || {
+        rig.daemon.counts().0 == 0
+    });
     assert_eq!(reason(&p.open("withdrawn-1", PAID, "clip-02")), "withdrawn");
     for n in 0..2 {
-        p.call("session.open", open(&format!("waiting-{n}"), PAID, "clip-03"));
+        p.call(
+            "session.open",
+            open(&format!("waiting-{n}"), PAID, "clip-03"),
+        );
     }
-    assert_eq!(reason(&p.open("one-too-many", PAID, "clip-03")), "too_many_open");
+    assert_eq!(
+        reason(&p.open("one-too-many", PAID, "clip-03")),
+        "too_many_open"
+    );
 }
 
 /// A budget that holds previews at home, and its report.
@@ -220,14 +309,27 @@
     let mut p = Player::connect(rig.daemon.address(), version, tape);
     for id in (0..12).filter(|id| id % 2 == 0) {
         rig.fleet.crash(id);
-        rig.list.change(entry(&rig.config, id, rig.fleet.servers[id as usize].address, State::Gone, 0));
+        rig.list.change(entry(
+            &rig.config,
+            id,
+            rig.fleet.servers[id as usize].address,
+            State::Gone,
+            0,
+        ));
     }
-    let held = if version == Version::V2 { "held_at_home" } else { "no_room" };
+    let held = if version == Version::V2 {
+        "held_at_home"
+    } else {
+        "no_room"
+    };
     wait("previews to be held at home", || {
         reason(&p.open(&format!("held-{:04}", p.calls), FREE, "clip-00")) == held
     });
     let answer = p.open("paid-crosses", PAID, "clip-00");
-    let media = answer["result"]["media"].as_str().expect("paid service crosses").to_owned();
+    let media = answer["result"]["media"]
+        .as_str()
+        .expect("paid service crosses")
+        .to_owned();
     let (server, path) = media.trim_start_matches("http://").split_once('/').unwrap();
     let mut stream = TcpStream::connect(server).unwrap();
     write!(stream, "GET /{path} HTTP/1.1\r\nhost: a\r\n\r\n").unwrap();
@@ -244,7 +346,9 @@
 /// A member of the fleet that the test plays for as long as it runs; where it is found.
 fn member() -> SocketAddr {
     let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-    socket.set_read_timeout(Some(Duration::from_millis(5))).unwrap();
+    socket
+        .set_read_timeout(Some(Duration::from_millis(5)))
+        .unwrap();
     let address = socket.local_addr().unwrap();
     let settings = Settings {
         name: "played".into(),
@@ -261,7 +365,12 @@
         loop {
             let (mut out, mut bytes) = (Vec::new(), [0u8; 2048]);
             if let Ok((n, from)) = socket.recv_from(&mut bytes) {
-                peers.hear(begun.elapsed().as_nanos() as u64, &from.to_string(), &bytes[..n], &mut out);
+                peers.hear(
+                    begun.elapsed().as_nanos() as u64,
+                    &from.to_string(),
+                    &bytes[..n],
+                    &mut out,
+                );
             }
             peers.expire(begun.elapsed().as_nanos() as u64, &mut out);
             for output in out {
@@ -288,7 +397,10 @@
     };
     let copied = |from: &str, to: &str| {
         std::fs::create_dir_all(dir.path().join(to)).unwrap();
-        for file in std::fs::read_dir(dir.path().join(from)).unwrap().map(Result::unwrap) {
+        for file in std::fs::read_dir(dir.path().join(from))
+            .unwrap()
+            .map(Result::unwrap)
+        {
             std::fs::copy(file.path(), dir.path().join(to).join(file.file_name())).unwrap();
         }
     };
@@ -301,15 +413,23 @@
     };
     let heard = |rig: &Rig, words: &[&str]| heard_at(rig.daemon.address(), words);
     let first = rig(&[("cold: \"8s\"", "cold: \"300ms\""), ("log {", &store("a"))]);
-    heard(&first, &["\"unknown\"", "\"paid_served\"", "\"warm\"", "\"normal\""]);
+    heard(
+        &first,
+        &["\"unknown\"", "\"paid_served\"", "\"warm\"", "\"normal\""],
+    );
     copied("a", "killed");
     copied("a", "lost");
     first.daemon.drain();
     first.daemon.wait();
     heard(&rig(&[("log {", &store("a"))]), &["\"ended_in_order\""]);
-    heard(&rig(&[("log {", &store("killed"))]), &["\"killed\"", "\"servers_told\""]);
+    heard(
+        &rig(&[("log {", &store("killed"))]),
+        &["\"killed\"", "\"servers_told\""],
+    );
     std::fs::write(&boot, "second").unwrap();
-    let slow = store("lost").replace("\"500ms\"", "\"1s\"").replace("\"1ms\"", "\"1s\"");
+    let slow = store("lost")
+        .replace("\"500ms\"", "\"1s\"")
+        .replace("\"1ms\"", "\"1s\"");
     let stage = Stage::new(&[("log {", &slow)]);
     stage.fleet.set_mode(4, |m| m.vanished = true);
     let daemon = stage.start();
@@ -319,7 +439,9 @@
     daemon.drain();
     daemon.wait();
     copied("a", "late");
-    let late = rig_of(&[("log {", &store("late"))], |rig| rig.fleet.set_mode(4, |m| m.vanished = true));
+    let late = rig_of(&[("log {", &store("late"))], |rig| {
+        rig.fleet.set_mode(4, |m| m.vanished = true)
+    });
     heard(&late, &["\"power_lost\"", "\"time\""]);
     late.modes(|m| m.vanished = false);
     std::fs::write(dir.path().join("file"), "").unwrap();
@@ -328,9 +450,13 @@
 
 /// HTTP, and how a front ends.
 fn http_and_end(version: Version, tape: &Tape) {
-    let key = std::env::temp_dir().join(format!("crankpaddle-described-{}-{version:?}", std::process::id()));
+    let key = std::env::temp_dir().join(format!(
+        "crankpaddle-described-{}-{version:?}",
+        std::process::id()
+    ));
     std::fs::write(&key, "00112233445566778899aabbccddeeff").unwrap();
-    let lonely = format!("peers {{ name: \"b\" listen: \"127.0.0.1:0\" key_file: {key:?} }}\nlog {{");
+    let lonely =
+        format!("peers {{ name: \"b\" listen: \"127.0.0.1:0\" key_file: {key:?} }}\nlog {{");
     let lonely = rig(&[("log {", &lonely)]);
     assert_eq!(tape.get(lonely.daemon.address(), "/members"), 200);
     drop(lonely);
@@ -345,23 +471,51 @@
         let last = tape.0.lock().unwrap().last().cloned();
         matches!(last, Some(Exchange::Http { body, .. }) if body.contains("rtt_us") && body.contains("connected"))
     });
-    for path in
-        ["/api", "/api/openapi.json", "/api/session.v1.asyncapi.json", "/api/session.v2.asyncapi.json"]
-    {
+    for path in [
+        "/api",
+        "/api/openapi.json",
+        "/api/session.v1.asyncapi.json",
+        "/api/session.v2.asyncapi.json",
+    ] {
         assert_eq!(tape.get(address, path), 200);
     }
-    let long = format!("GET / HTTP/1.1\r\nhost: a\r\nx: {}\r\n\r\n", "y".repeat(20_000));
-    let upgrade = "GET /session HTTP/1.1\r\nhost: a\r\nupgrade: websocket\r\nconnection: upgrade\r\n";
+    let long = format!(
+        "GET / HTTP/1.1\r\nhost: a\r\nx: {}\r\n\r\n",
+        "y".repeat(20_000)
+    );
+    let upgrade =
+        "GET /session HTTP/1.1\r\nhost: a\r\nupgrade: websocket\r\nconnection: upgrade\r\n";
     for (request, status) in [
-        ("GET /health HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n", 200),
-        ("GET /nothing HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n", 404),
-        ("DELETE /health HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n", 405),
-        ("DELETE /api/openapi.json HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n", 405),
+        (
+            "GET /health HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n",
+            200,
+        ),
+        (
+            "GET /nothing HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n",
+            404,
+        ),
+        (
+            "DELETE /health HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n",
+            405,
+        ),
+        (
+            "DELETE /api/openapi.json HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n",
+            405,
+        ),
         ("nonsense\r\n\r\n", 400),
-        ("POST /health HTTP/1.1\r\nhost: a\r\ncontent-length: 9999999\r\n\r\n", 413),
+        (
+            "POST /health HTTP/1.1\r\nhost: a\r\ncontent-length: 9999999\r\n\r\n",
+            413,
+        ),
         (&long, 431),
-        ("GET /session HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n", 426),
-        (&format!("{upgrade}sec-websocket-version: 13\r\nsec-websocket-key: no\r\n\r\n"), 400),
+        (
+            "GET /session HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n",
+            426,
+        ),
+        (
+            &format!("{upgrade}sec-websocket-version: 13\r\nsec-websocket-key: no\r\n\r\n"),
+            400,
+        ),
     ] {
         assert_eq!(tape.http(address, request), status, "{request}");
     }
@@ -375,24 +529,34 @@
     let mut p = Player::connect(address, version, tape);
     let playing = p.open("to-the-end-1", FREE, "clip-00");
     assert!(playing["result"].is_object(), "{playing}");
-    let more: Vec<Player> = (0..2).map(|_| Player::connect(address, version, tape)).collect();
+    let more: Vec<Player> = (0..2)
+        .map(|_| Player::connect(address, version, tape))
+        .collect();
     assert_eq!(tape.get(address, "/session"), 503);
     drop(more);
     // One request is kept waiting, so that the front stays to say that it stops.
     rig.modes(|m| m.hangs = true);
     p.call("session.open", open("kept-waiting", PAID, "clip-01"));
-    wait("its attempt to be out", || rig.of_key("kept-waiting").0 == 1);
+    wait("its attempt to be out", || {
+        rig.of_key("kept-waiting").0 == 1
+    });
     rig.daemon.drain();
     wait("it to drain", || tape.get(address, "/health") == 503);
     assert_eq!(reason(&p.open("too-late-now", FREE, "clip-02")), "stopping");
     let ended = p.notice("session.end");
-    assert_eq!((&ended["reason"], ended["retry_after_ms"].is_u64()), (&json!("stopping"), true));
+    assert_eq!(
+        (&ended["reason"], ended["retry_after_ms"].is_u64()),
+        (&json!("stopping"), true)
+    );
 }
 
 #[test]
 fn traffic_and_published_descriptions_agree_in_both_directions() {
     let excused: Vec<Exception> = serde_json::from_str(crankpaddle_api::EXCEPTIONS).unwrap();
-    let both = [(Version::V2, crankpaddle_api::PRESENT), (Version::V1, crankpaddle_api::PREVIOUS)];
+    let both = [
+        (Version::V2, crankpaddle_api::PRESENT),
+        (Version::V1, crankpaddle_api::PREVIOUS),
+    ];
     let runs = both.map(|(version, document)| {
         std::thread::spawn(move || {
             let tape = Tape::default();
@@ -400,9 +564,15 @@
                 let tape = tape.clone();
                 std::thread::spawn(move || part(version, &tape))
             });
-            parts.into_iter().for_each(|part| part.join().expect("a part of the run"));
+            parts
+                .into_iter()
+                .for_each(|part| part.join().expect("a part of the run"));
             let mut checker = Checker::new(document, crankpaddle_api::OPENAPI).unwrap();
-            tape.0.lock().unwrap().iter().for_each(|exchange| checker.take(exchange));
+            tape.0
+                .lock()
+                .unwrap()
+                .iter()
+                .for_each(|exchange| checker.take(exchange));
             (version, checker, tape)
         })
     });
@@ -416,10 +586,15 @@
         }
         // The check can fail: without one of its messages the run no longer shows all.
         let kept = tape.0.lock().unwrap().clone();
-        let without =
-            kept.iter().filter(|e| !matches!(e, Exchange::Text { text, .. } if text.contains("key_spent")));
+        let without = kept
+            .iter()
+            .filter(|e| !matches!(e, Exchange::Text { text, .. } if text.contains("key_spent")));
         let mut less = Checker::new(
-            if version == Version::V2 { crankpaddle_api::PRESENT } else { crankpaddle_api::PREVIOUS },
+            if version == Version::V2 {
+                crankpaddle_api::PRESENT
+            } else {
+                crankpaddle_api::PREVIOUS
+            },
             crankpaddle_api::OPENAPI,
         )
         .unwrap();
@@ -446,7 +621,14 @@
         ),
         (
             "a reason stands in the code only",
-            |d| drop(d["components"]["schemas"]["FailedReason"]["oneOf"].as_array_mut().unwrap().remove(0)),
+            |d| {
+                drop(
+                    d["components"]["schemas"]["FailedReason"]["oneOf"]
+                        .as_array_mut()
+                        .unwrap()
+                        .remove(0),
+                )
+            },
             "\"no_answer\"",
         ),
         (
@@ -461,17 +643,26 @@
         ),
         (
             "a property that is never sent",
-            |d| d["components"]["schemas"]["Ended"]["properties"]["mood"] = json!({"type": "string"}),
+            |d| {
+                d["components"]["schemas"]["Ended"]["properties"]["mood"] =
+                    json!({"type": "string"})
+            },
             "end.params.mood",
         ),
         (
             "another type",
-            |d| d["components"]["schemas"]["RungChanged"]["properties"]["rung"] = json!({"type": "string"}),
+            |d| {
+                d["components"]["schemas"]["RungChanged"]["properties"]["rung"] =
+                    json!({"type": "string"})
+            },
             "session.rung",
         ),
         (
             "a narrower bound",
-            |d| d["components"]["schemas"]["Opened"]["properties"]["session"]["maxLength"] = json!(1),
+            |d| {
+                d["components"]["schemas"]["Opened"]["properties"]["session"]["maxLength"] =
+                    json!(1)
+            },
             "\"session\":\"s-",
         ),
         (
@@ -487,8 +678,8 @@
         (
             "another code",
             |d| {
-                d["components"]["messages"]["superseded"]["payload"]["properties"]["error"]["properties"]
-                    ["code"] = json!({"const": -32_099})
+                d["components"]["messages"]["superseded"]["payload"]["properties"]["error"]
+                    ["properties"]["code"] = json!({"const": -32_099})
             },
             "-32003",
         ),
@@ -517,7 +708,10 @@
         let mut checker = Checker::new(&document.to_string(), crankpaddle_api::OPENAPI).unwrap();
         tape.iter().for_each(|exchange| checker.take(exchange));
         let verdict = checker.verdict(excused);
-        assert!(!verdict.agrees() && verdict.to_string().contains(name), "{what}: {verdict}");
+        assert!(
+            !verdict.agrees() && verdict.to_string().contains(name),
+            "{what}: {verdict}"
+        );
     }
 }
 
@@ -525,9 +719,18 @@
 fn versions_are_negotiated_by_name_in_the_clients_order() {
     let rig = Rig::new(&[]);
     for (offered, chosen) in [
-        ("session.v2.jsonrpc, session.v1.jsonrpc", Some("session.v2.jsonrpc")),
-        ("session.v1.jsonrpc, session.v2.jsonrpc", Some("session.v1.jsonrpc")),
-        ("session.v9.jsonrpc, session.v1.jsonrpc", Some("session.v1.jsonrpc")),
+        (
+            "session.v2.jsonrpc, session.v1.jsonrpc",
+            Some("session.v2.jsonrpc"),
+        ),
+        (
+            "session.v1.jsonrpc, session.v2.jsonrpc",
+            Some("session.v1.jsonrpc"),
+        ),
+        (
+            "session.v9.jsonrpc, session.v1.jsonrpc",
+            Some("session.v1.jsonrpc"),
+        ),
         ("session.v9.jsonrpc", None),
     ] {
         let head = format!(
--- a/crates/daemon/tests/edges.rs
+++ b/crates/daemon/tests/edges.rs
@@ -43,10 +43,22 @@
         ("unmasked", vec![0x81, 2, b'{', b'}'], CloseCode::Protocol),
         ("reserved bits", frame(0xf1, b"{}"), CloseCode::Protocol),
         ("reserved opcode", frame(0x83, b"{}"), CloseCode::Protocol),
-        ("a continuation of nothing", frame(0x80, b"{}"), CloseCode::Protocol),
+        (
+            "a continuation of nothing",
+            frame(0x80, b"{}"),
+            CloseCode::Protocol,
+        ),
         ("a fragmented ping", frame(0x09, b""), CloseCode::Protocol),
-        ("a ping that is too long", frame(0x89, &[0; 126]), CloseCode::Protocol),
-        ("a text that is no UTF-8", frame(0x81, &[0xff, 0xfe]), CloseCode::Invalid),
+        (
+            "a ping that is too long",
+            frame(0x89, &[0; 126]),
+            CloseCode::Protocol,
+        ),
+        (
+            "a text that is no UTF-8",
+            frame(0x81, &[0xff, 0xfe]),
+            CloseCode::Invalid,
+        ),
         ("binary", frame(0x82, b"{}"), CloseCode::Unsupported),
         ("oversize", frame(0x81, &[b' '; 70_000]), CloseCode::Size),
         (
@@ -67,12 +79,20 @@
     let mut player = rig.player();
     let text = br#"{"jsonrpc":"2.0","id":7,"method":"session.close","params":{"session":"s-0"}}"#;
     let (a, b) = text.split_at(20);
-    let mixed = [frame(0x01, a), frame(0x89, b"are you there"), frame(0x80, b)].concat();
+    let mixed = [
+        frame(0x01, a),
+        frame(0x89, b"are you there"),
+        frame(0x80, b),
+    ]
+    .concat();
     // A byte at a time: no piece of it is whole.
     for byte in mixed {
         player.socket.get_mut().write_all(&[byte]).unwrap();
     }
-    assert_eq!(player.socket.read().unwrap(), Message::Pong("are you there".into()));
+    assert_eq!(
+        player.socket.read().unwrap(),
+        Message::Pong("are you there".into())
+    );
     assert_eq!(player.hear(), Said::Unknown { id: 7 });
     player.socket.close(None).unwrap();
     assert!(matches!(
@@ -90,7 +110,10 @@
         ("[]", -32600),
         ("5", -32600),
         (r#"{"jsonrpc":"2.0","id":1,"method":"session.fly"}"#, -32601),
-        (r#"{"jsonrpc":"2.0","id":1,"method":"session.open","params":{"key":"12345678"}}"#, -32602),
+        (
+            r#"{"jsonrpc":"2.0","id":1,"method":"session.open","params":{"key":"12345678"}}"#,
+            -32602,
+        ),
         (
             r#"{"jsonrpc":"2.0","id":1,"method":"session.open","params":{"key":"12345678","title":"none","class":"preview"}}"#,
             -32602,
@@ -105,12 +128,16 @@
         ),
     ] {
         player.say(text);
-        assert!(matches!(player.hear(), Said::Error { code: c, .. } if c == code), "{text}");
+        assert!(
+            matches!(player.hear(), Said::Error { code: c, .. } if c == code),
+            "{text}"
+        );
     }
     // Notifications are never answered, whatever is wrong with them, and set nothing up.
     player.say(r#"{"jsonrpc":"2.0","method":"session.fly"}"#);
     player.say(r#"{"jsonrpc":"2.0","method":"session.open","params":{"key":"unanswered","title":"clip-01","class":"preview"}}"#);
-    player.say(r#"{"jsonrpc":"2.0","id":3,"method":"session.resume","params":{"key":"unanswered"}}"#);
+    player
+        .say(r#"{"jsonrpc":"2.0","id":3,"method":"session.resume","params":{"key":"unanswered"}}"#);
     assert_eq!(player.hear(), Said::Unknown { id: 3 });
     assert_eq!(rig.of_key("unanswered"), (0, 0));
 }
@@ -120,7 +147,10 @@
     let rig = Rig::new(&[
         ("message: \"64KiB\"", "message: \"1MiB\""),
         ("unread: \"64KiB\"", "unread: \"4MiB\""),
-        ("open_requests_per_connection: 64", "open_requests_per_connection: 1000"),
+        (
+            "open_requests_per_connection: 64",
+            "open_requests_per_connection: 1000",
+        ),
     ]);
     let mut player = rig.player();
     let open = |n: u32| {
@@ -131,7 +161,9 @@
     };
     let calls: Vec<String> = (0..1000).map(open).collect();
     player.say(format!("[{}]", calls.join(",")));
-    let Message::Text(text) = player.socket.read().unwrap() else { panic!() };
+    let Message::Text(text) = player.socket.read().unwrap() else {
+        panic!()
+    };
     let mut ids: Vec<u64> = client::read(&text)
         .unwrap()
         .iter()
@@ -143,7 +175,9 @@
     ids.sort_unstable();
     assert_eq!(ids, (0..1000).collect::<Vec<u64>>());
     drop(player);
-    wait("all to end", || rig.daemon.counts() == (0, 0) && rig.fleet.streams() == 0);
+    wait("all to end", || {
+        rig.daemon.counts() == (0, 0) && rig.fleet.streams() == 0
+    });
     assert_eq!(rig.verdict().breaches, []);
 }
 
@@ -159,13 +193,17 @@
         )
     };
     player.say(format!("[{},{}]", open(1, "clip-05"), open(2, "clip-18")));
-    wait("the first to be set up", || rig.fleet.streams() > 0 && rig.of_key("ordered-1").1 == 1);
+    wait("the first to be set up", || {
+        rig.fleet.streams() > 0 && rig.of_key("ordered-1").1 == 1
+    });
     // Its server is lost while the batch still waits for the other answer.
     wait("the front to know", || rig.daemon.counts() == (1, 1));
     (1..4).for_each(|id| rig.fleet.crash(id));
     // The other may have been given up by then, on a slow machine; the order is the same.
     wait("the front to see it", || rig.daemon.counts().1 == 0);
-    let Message::Text(first) = player.socket.read().unwrap() else { panic!() };
+    let Message::Text(first) = player.socket.read().unwrap() else {
+        panic!()
+    };
     let answers = client::read(&first).unwrap();
     assert_eq!(answers.len(), 2, "the batch comes first: {first}");
     let session = answers.iter().find_map(|said| match said {
@@ -173,31 +211,51 @@
         _ => None,
     });
     let ended = player.hear();
-    assert!(matches!(&ended, Said::End { session: s, .. } if Some(s) == session.as_ref()), "{ended:?}");
+    assert!(
+        matches!(&ended, Said::End { session: s, .. } if Some(s) == session.as_ref()),
+        "{ended:?}"
+    );
 }
 
 #[test]
 fn a_connection_may_only_wait_for_so_much_at_once() {
-    let rig = Rig::new(&[("open_requests_per_connection: 64", "open_requests_per_connection: 3")]);
+    let rig = Rig::new(&[(
+        "open_requests_per_connection: 64",
+        "open_requests_per_connection: 3",
+    )]);
     rig.modes(|m| m.hangs = true);
     let mut player = rig.player();
     let titles = ["clip-00", "clip-01", "clip-02", "clip-04", "clip-05"];
-    let calls: Vec<u64> = titles.iter().map(|t| player.open_for(&format!("at-once-{t}"), PAID, t)).collect();
+    let calls: Vec<u64> = titles
+        .iter()
+        .map(|t| player.open_for(&format!("at-once-{t}"), PAID, t))
+        .collect();
     for call in &calls[3..] {
         let said = player.hear();
-        let Said::Refused { id, reason, retry_after_ms } = &said else { panic!("{said:?}") };
+        let Said::Refused {
+            id,
+            reason,
+            retry_after_ms,
+        } = &said
+        else {
+            panic!("{said:?}")
+        };
         assert_eq!((id, reason.as_str()), (call, "too_many_open"));
         assert!(retry_after_ms.is_some());
     }
-    let failed = (0..3).map(|_| player.hear()).filter(|s| matches!(s, Said::Failed { .. })).count();
+    let failed = (0..3)
+        .map(|_| player.hear())
+        .filter(|s| matches!(s, Said::Failed { .. }))
+        .count();
     assert_eq!(failed, 3, "the others are answered in their time");
 }
 
 #[test]
 fn http_is_answered_as_http() {
     let rig = Rig::new(&[]);
-    let get =
-        |path: &str, more: &str| format!("GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n{more}\r\n");
+    let get = |path: &str, more: &str| {
+        format!("GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n{more}\r\n")
+    };
     let upgrade = "upgrade: websocket\r\nconnection: upgrade\r\n";
     let key = "sec-websocket-key: dGhlIHNhbXBsZSBub25jZQ==\r\n";
     for (request, status, said) in [
@@ -248,22 +306,33 @@
     // The example of RFC 6455, 1.3, without a subprotocol, and two requests on one connection before it.
     let mut stream = rig.raw();
     let health = "GET /health HTTP/1.1\r\nhost: a\r\n\r\n";
-    let shake =
-        format!("GET /session HTTP/1.1\r\nhost: a\r\n{upgrade}{key}sec-websocket-version: 13\r\n\r\n");
-    stream.write_all(format!("{health}{health}{shake}").as_bytes()).unwrap();
+    let shake = format!(
+        "GET /session HTTP/1.1\r\nhost: a\r\n{upgrade}{key}sec-websocket-version: 13\r\n\r\n"
+    );
+    stream
+        .write_all(format!("{health}{health}{shake}").as_bytes())
+        .unwrap();
     let (mut seen, mut piece) = (String::new(), [0; 4096]);
     while !seen.contains("s3pPLMBiTxaQ9kYGzzhZRbK+xOo=") {
         let n = stream.read(&mut piece).unwrap();
         assert!(n > 0, "{seen}");
         seen.push_str(&String::from_utf8_lossy(&piece[..n]));
     }
-    assert_eq!((seen.matches("200 OK").count(), seen.contains("sec-websocket-protocol")), (2, false));
+    assert_eq!(
+        (
+            seen.matches("200 OK").count(),
+            seen.contains("sec-websocket-protocol")
+        ),
+        (2, false)
+    );
 }
 
 #[test]
 fn half_open_and_half_said_connections_are_closed_after_their_time() {
-    let rig =
-        Rig::new(&[("handshake: \"5s\"", "handshake: \"300ms\""), ("idle: \"30s\"", "idle: \"400ms\"")]);
+    let rig = Rig::new(&[
+        ("handshake: \"5s\"", "handshake: \"300ms\""),
+        ("idle: \"30s\"", "idle: \"400ms\""),
+    ]);
     for said in ["", "GET /session HT"] {
         let mut stream = rig.raw();
         stream.write_all(said.as_bytes()).unwrap();
@@ -293,7 +362,10 @@
     let rig = Rig::new(&[("unread: \"64KiB\"", "unread: \"16KiB\"")]);
     let mut deaf = rig.player();
     // Each call is answered by an error that repeats its long method; nothing of it is ever read.
-    let text = format!(r#"{{"jsonrpc":"2.0","id":1,"method":"{}"}}"#, "x".repeat(30_000));
+    let text = format!(
+        r#"{{"jsonrpc":"2.0","id":1,"method":"{}"}}"#,
+        "x".repeat(30_000)
+    );
     let until = Instant::now() + LONG;
     while deaf.socket.send(Message::text(text.clone())).is_ok() {
         assert!(Instant::now() < until, "it is never cut");
@@ -312,10 +384,14 @@
     });
     let held: Vec<_> = (0..5).map(|_| rig.player()).collect();
     let answer = rig.exchange(b"");
-    assert!(answer.starts_with("HTTP/1.1 503 ") && answer.contains("retry_after_ms"), "{answer}");
+    assert!(
+        answer.starts_with("HTTP/1.1 503 ") && answer.contains("retry_after_ms"),
+        "{answer}"
+    );
     drop(held);
     wait("room", || {
-        rig.exchange(b"GET /health HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n").contains("200 OK")
+        rig.exchange(b"GET /health HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
+            .contains("200 OK")
     });
 }
 
@@ -338,7 +414,10 @@
     });
     first.drain();
     first.wait();
-    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let gone = std::net::TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
     let second = start(&gone);
     let (_, said) = rig::Player::connect(second.address()).open_and_wait("from-the-disk", FREE);
     assert!(matches!(said, Said::Plays { .. }), "{said:?}");
@@ -363,15 +442,29 @@
     rig.daemon.drain();
     let mut late = rig.player();
     let (_, said) = late.open_and_wait("too-late", FREE);
-    assert!(matches!(&said, Said::Refused { reason, .. } if reason == "stopping"), "{said:?}");
+    assert!(
+        matches!(&said, Said::Refused { reason, .. } if reason == "stopping"),
+        "{said:?}"
+    );
     let health = rig.exchange(b"GET /health HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
-    assert!(health.starts_with("HTTP/1.1 503 ") && health.contains("draining"), "{health}");
+    assert!(
+        health.starts_with("HTTP/1.1 503 ") && health.contains("draining"),
+        "{health}"
+    );
     rig.modes(|m| m.hangs = false);
-    assert!(matches!(waiting.hear(), Said::Plays { id, .. } if id == call), "what was under way is answered");
+    assert!(
+        matches!(waiting.hear(), Said::Plays { id, .. } if id == call),
+        "what was under way is answered"
+    );
     for player in [&mut playing, &mut waiting] {
         let said = player.hear();
-        assert!(matches!(&said, Said::End { reason, .. } if reason == "stopping"), "{said:?}");
-        assert!(matches!(player.socket.read(), Ok(Message::Close(Some(f))) if f.code == CloseCode::Away));
+        assert!(
+            matches!(&said, Said::End { reason, .. } if reason == "stopping"),
+            "{said:?}"
+        );
+        assert!(
+            matches!(player.socket.read(), Ok(Message::Close(Some(f))) if f.code == CloseCode::Away)
+        );
     }
     rig.daemon.wait();
     wait("the servers to be told", || rig.fleet.streams() == 0);
@@ -382,12 +475,16 @@
 fn while_nobody_tells_of_starts_each_server_is_listened_to_and_one_that_starts_is_cold() {
     let rig = Rig::new(&[]);
     rig.list.set_gone(true);
-    wait("each server to be listened to", || rig.fleet.servers.iter().all(|s| s.listeners() > 0));
+    wait("each server to be listened to", || {
+        rig.fleet.servers.iter().all(|s| s.listeners() > 0)
+    });
     for id in 0..12 {
         rig.fleet.crash(id);
         rig.fleet.restart(id).unwrap();
     }
-    wait("each to be listened to again", || rig.fleet.servers.iter().all(|s| s.listeners() > 0));
+    wait("each to be listened to again", || {
+        rig.fleet.servers.iter().all(|s| s.listeners() > 0)
+    });
     let mut player = rig.player();
     // Either it plays, which takes a server's work, or no turn is there, which shows that starts are known.
     player.open_and_wait("first-alone", FREE);
--- a/crates/daemon/tests/paid.rs
+++ b/crates/daemon/tests/paid.rs
@@ -24,16 +24,22 @@
     let dir = tempfile::tempdir().unwrap();
     let stage = Stage::new(&[("log {", &config(dir.path(), &dir.path().join("store")))]);
     let disk = disk.clone();
-    let daemon = crankpaddle_daemon::Daemon::start_on(stage.front(), |boot| Store::on(disk, boot)).unwrap();
+    let daemon =
+        crankpaddle_daemon::Daemon::start_on(stage.front(), |boot| Store::on(disk, boot)).unwrap();
     (Rig::of(stage, daemon, ""), dir)
 }
 
 fn store_state(rig: &Rig) -> String {
     let mut stream = rig.raw();
-    stream.write_all(b"GET /fleet HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n").unwrap();
+    stream
+        .write_all(b"GET /fleet HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
+        .unwrap();
     let mut answer = String::new();
     stream.read_to_string(&mut answer).unwrap();
-    let state = answer.split("\"store\":\"").nth(1).and_then(|rest| rest.split('"').next());
+    let state = answer
+        .split("\"store\":\"")
+        .nth(1)
+        .and_then(|rest| rest.split('"').next());
     state.unwrap_or_default().to_owned()
 }
 
@@ -45,7 +51,10 @@
     let (mut payer, mut other) = (rig.player(), rig.player());
     let asked = Instant::now();
     payer.open("slow-paid", PAID);
-    assert!(matches!(other.open_and_wait("quick-free", FREE).1, Said::Plays { .. }));
+    assert!(matches!(
+        other.open_and_wait("quick-free", FREE).1,
+        Said::Plays { .. }
+    ));
     assert_eq!(
         rig.of_key("slow-paid").0,
         0,
@@ -65,12 +74,18 @@
     let mut payer = rig.player();
     let asked = Instant::now();
     let (_, said) = payer.open_and_wait("too-slow", PAID);
-    assert!(asked.elapsed() < Duration::from_millis(1500), "its viewer waits 1.5 s");
+    assert!(
+        asked.elapsed() < Duration::from_millis(1500),
+        "its viewer waits 1.5 s"
+    );
     assert!(matches!(said, Said::Refused { .. }), "{said:?}");
     // The disk is done with it by then, and it does not leave after all.
     let syncs = disk.syncs.load(Ordering::Acquire);
     wait("the disk", || disk.syncs.load(Ordering::Acquire) > syncs);
-    assert!(matches!(rig.player().open_and_wait("another-free", FREE).1, Said::Plays { .. }));
+    assert!(matches!(
+        rig.player().open_and_wait("another-free", FREE).1,
+        Said::Plays { .. }
+    ));
     assert_eq!(rig.of_key("too-slow"), (0, 0));
 }
 
@@ -79,16 +94,33 @@
     let disk = Poor::new();
     let (rig, _dir) = on(&disk);
     let mut player = rig.player();
-    assert!(matches!(player.open_and_wait("before-full", PAID).1, Said::Plays { .. }));
+    assert!(matches!(
+        player.open_and_wait("before-full", PAID).1,
+        Said::Plays { .. }
+    ));
     disk.full.store(true, Ordering::Release);
     let (_, said) = player.open_and_wait("while-full", PAID);
-    assert!(matches!(said, Said::Refused { .. }), "nothing ran: {said:?}");
-    assert_eq!((rig.of_key("while-full"), store_state(&rig).as_str()), ((0, 0), "failing"));
-    assert!(matches!(player.open_and_wait("free-full", FREE).1, Said::Plays { .. }));
+    assert!(
+        matches!(said, Said::Refused { .. }),
+        "nothing ran: {said:?}"
+    );
+    assert_eq!(
+        (rig.of_key("while-full"), store_state(&rig).as_str()),
+        ((0, 0), "failing")
+    );
+    assert!(matches!(
+        player.open_and_wait("free-full", FREE).1,
+        Said::Plays { .. }
+    ));
     disk.full.store(false, Ordering::Release);
     wait("room to be found", || {
         let mut player = rig.player();
-        matches!(player.open_and_wait(&format!("again-{}", rig.seen(|_| true)), PAID).1, Said::Plays { .. })
+        matches!(
+            player
+                .open_and_wait(&format!("again-{}", rig.seen(|_| true)), PAID)
+                .1,
+            Said::Plays { .. }
+        )
     });
     assert_eq!(store_state(&rig), "written");
     assert_eq!(rig.seen(|s| matches!(s, Seen::Fell { .. })), 0);
@@ -107,8 +139,14 @@
         let rig = Rig::new(&[("log {", &config(dir.path(), &folder))]);
         assert_eq!(store_state(&rig), "unusable", "{folder:?}");
         let mut player = rig.player();
-        assert!(matches!(player.open_and_wait("paid-without", PAID).1, Said::Refused { .. }));
+        assert!(matches!(
+            player.open_and_wait("paid-without", PAID).1,
+            Said::Refused { .. }
+        ));
         assert_eq!(rig.of_key("paid-without"), (0, 0));
-        assert!(matches!(player.open_and_wait("free-without", FREE).1, Said::Plays { .. }));
+        assert!(matches!(
+            player.open_and_wait("free-without", FREE).1,
+            Said::Plays { .. }
+        ));
     }
 }
--- a/crates/daemon/tests/rig/mod.rs
+++ b/crates/daemon/tests/rig/mod.rs
@@ -25,17 +25,26 @@
 /// The fleet's text with short times, and each change made in it.
 pub fn text(changes: &[(&str, &str)]) -> String {
     let quick = [
-        ("aim: \"800ms\"\n  give_up: \"4s\"", "aim: \"400ms\"\n  give_up: \"1500ms\""),
-        ("aim: \"1s\"\n  give_up: \"5s\"", "aim: \"400ms\"\n  give_up: \"2s\""),
+        (
+            "aim: \"800ms\"\n  give_up: \"4s\"",
+            "aim: \"400ms\"\n  give_up: \"1500ms\"",
+        ),
+        (
+            "aim: \"1s\"\n  give_up: \"5s\"",
+            "aim: \"400ms\"\n  give_up: \"2s\"",
+        ),
         // Wide, so that a busy machine that runs the tests is not taken for a late front.
         ("answer_margin: \"100ms\"", "answer_margin: \"500ms\""),
         ("resume: \"3s\"", "resume: \"700ms\""),
         ("silence: \"2s\"", "silence: \"1s\""),
     ];
-    quick.iter().chain(changes).fold(FLEET.to_owned(), |text, (from, to)| {
-        assert!(text.contains(from), "{from}");
-        text.replacen(from, to, 1)
-    })
+    quick
+        .iter()
+        .chain(changes)
+        .fold(FLEET.to_owned(), |text, (from, to)| {
+            assert!(text.contains(from), "{from}");
+            text.replacen(from, to, 1)
+        })
 }
 
 pub struct Rig {
@@ -48,24 +57,36 @@
 
 pub fn fleet(text: &str) -> (Arc<Config>, Arc<Fleet>, Recorder) {
     crankpaddle_net::start(Some(2));
-    let config =
-        Arc::new(crankpaddle_config::parse(&front(text, &"127.0.0.1:1".parse().unwrap(), "")).unwrap());
+    let config = Arc::new(
+        crankpaddle_config::parse(&front(text, &"127.0.0.1:1".parse().unwrap(), "")).unwrap(),
+    );
     let recorder = Recorder::default();
-    let layout = Layout { count: 12, cores: 3, work: 20_000_000, uneven: 0.0, segment: 200_000_000, seed: 3 };
+    let layout = Layout {
+        count: 12,
+        cores: 3,
+        work: 20_000_000,
+        uneven: 0.0,
+        segment: 200_000_000,
+        seed: 3,
+    };
     let fleet = Fleet::start(config.clone(), &layout, recorder.clone()).unwrap();
     (config, fleet, recorder)
 }
 
 pub fn front(text: &str, list: &SocketAddr, cache: &str) -> String {
-    format!("{}{text}", front_block(0, 1, "north", &list.to_string(), cache)).replacen(
-        "front {",
-        "front {\n  seed: 5",
-        1,
+    format!(
+        "{}{text}",
+        front_block(0, 1, "north", &list.to_string(), cache)
     )
+    .replacen("front {", "front {\n  seed: 5", 1)
 }
 
 pub fn list(config: &Config, fleet: &Fleet, recorder: &Recorder) -> Arc<ListService> {
-    let entries = fleet.servers.iter().map(|s| entry(config, s.id, s.address, State::Ready, 0)).collect();
+    let entries = fleet
+        .servers
+        .iter()
+        .map(|s| entry(config, s.id, s.address, State::Ready, 0))
+        .collect();
     ListService::start(entries, 1_000_000, recorder.clone()).unwrap()
 }
 
@@ -83,7 +104,13 @@
         let text = text(changes);
         let (config, fleet, recorder) = fleet(&text);
         let list = list(&config, &fleet, &recorder);
-        Stage { config, fleet, list, recorder, text }
+        Stage {
+            config,
+            fleet,
+            list,
+            recorder,
+            text,
+        }
     }
 
     pub fn front(&self) -> Config {
@@ -113,15 +140,29 @@
     }
 
     pub fn of(stage: Stage, daemon: Daemon, tenant: &str) -> Rig {
-        let Stage { config, fleet, list, recorder, .. } = stage;
-        let rig = Rig { config, fleet, list, daemon, recorder };
+        let Stage {
+            config,
+            fleet,
+            list,
+            recorder,
+            ..
+        } = stage;
+        let rig = Rig {
+            config,
+            fleet,
+            list,
+            daemon,
+            recorder,
+        };
         rig.listed(tenant);
         rig
     }
 
     /// Waits until the front has a list: only then a request can be placed.
     pub fn listed(&self, tenant: &str) {
-        wait("the list to be told", || self.seen(|s| matches!(s, Seen::Listed { .. })) > 0);
+        wait("the list to be told", || {
+            self.seen(|s| matches!(s, Seen::Listed { .. })) > 0
+        });
         // Told is not yet heard: the front is asked until it places something.
         let mut player = self.player();
         player.tenant = (!tenant.is_empty()).then(|| tenant.to_owned());
@@ -143,20 +184,30 @@
     }
 
     pub fn seen(&self, which: impl Fn(&Seen) -> bool) -> usize {
-        self.recorder.all().iter().filter(|r| which(&r.seen)).count()
+        self.recorder
+            .all()
+            .iter()
+            .filter(|r| which(&r.seen))
+            .count()
     }
 
     /// Set-ups and bills of the session with this key.
     pub fn of_key(&self, key: &str) -> (usize, usize) {
         let label = crankpaddle_upstream::sessions::bill(key);
         let sent = self.seen(|s| matches!(s, Seen::SetUp { bill, .. } if *bill == label));
-        (sent, self.seen(|s| matches!(s, Seen::Billed { bill, .. } if *bill == label)))
+        (
+            sent,
+            self.seen(|s| matches!(s, Seen::Billed { bill, .. } if *bill == label)),
+        )
     }
 
     /// The judge's verdict on what the servers saw; the players here are not recorded.
     pub fn verdict(&self) -> Verdict {
         let records: Vec<Record> = self.recorder.all();
-        judge(&Rules::of(&self.config, 1_000_000_000, 150_000_000), &records)
+        judge(
+            &Rules::of(&self.config, 1_000_000_000, 150_000_000),
+            &records,
+        )
     }
 
     pub fn player(&self) -> Player {
@@ -198,11 +249,23 @@
     pub fn connect(address: SocketAddr) -> Player {
         let stream = TcpStream::connect(address).unwrap();
         stream.set_read_timeout(Some(LONG)).unwrap();
-        let mut request = format!("ws://{address}/session").into_client_request().unwrap();
-        request.headers_mut().insert("sec-websocket-protocol", "session.v1.jsonrpc".parse().unwrap());
+        let mut request = format!("ws://{address}/session")
+            .into_client_request()
+            .unwrap();
+        request.headers_mut().insert(
+            "sec-websocket-protocol",
+            "session.v1.jsonrpc".parse().unwrap(),
+        );
         let (socket, answer) = tungstenite::client::client(request, stream).unwrap();
-        assert_eq!(answer.headers()["sec-websocket-protocol"], "session.v1.jsonrpc");
-        Player { socket, calls: 0, tenant: None }
+        assert_eq!(
+            answer.headers()["sec-websocket-protocol"],
+            "session.v1.jsonrpc"
+        );
+        Player {
+            socket,
+            calls: 0,
+            tenant: None,
+        }
     }
 
     pub fn say(&mut self, text: impl Into<String>) {
@@ -212,7 +275,13 @@
     pub fn open_for(&mut self, key: &str, class: &str, title: &str) -> u64 {
         self.calls += 1;
         let (key, title, class) = (key.into(), title.into(), class.into());
-        let open = Open { key, title, class, tenant: self.tenant.clone(), ..Open::default() };
+        let open = Open {
+            key,
+            title,
+            class,
+            tenant: self.tenant.clone(),
+            ..Open::default()
+        };
         self.say(client::open(self.calls, &open));
         self.calls
     }
@@ -251,8 +320,7 @@
     /// Whether nothing more comes within a time; only to look for what must not be.
     pub fn is_silent(&mut self, time: Duration) -> bool {
         self.socket.get_ref().set_read_timeout(Some(time)).unwrap();
-        let quiet =
-            matches!(self.socket.read(), Err(tungstenite::Error::Io(e)) if e.kind() == ErrorKind::WouldBlock);
+        let quiet = matches!(self.socket.read(), Err(tungstenite::Error::Io(e)) if e.kind() == ErrorKind::WouldBlock);
         self.socket.get_ref().set_read_timeout(Some(LONG)).unwrap();
         quiet
     }
--- a/crates/daemon/tests/set_ups.rs
+++ b/crates/daemon/tests/set_ups.rs
@@ -20,12 +20,25 @@
     let asked = Instant::now();
     let (call, said) = player.open_and_wait("silent-paid", PAID);
     let took = asked.elapsed();
-    assert!(took < Duration::from_millis(1500), "its viewer waits 1.5 s: {took:?}");
-    assert!(matches!(&said, Said::Failed { id, reason } if *id == call && reason == "no_answer"), "{said:?}");
-    assert_eq!(rig.of_key("silent-paid"), (1, 1), "it ran and was billed; that was not to be known");
+    assert!(
+        took < Duration::from_millis(1500),
+        "its viewer waits 1.5 s: {took:?}"
+    );
+    assert!(
+        matches!(&said, Said::Failed { id, reason } if *id == call && reason == "no_answer"),
+        "{said:?}"
+    );
+    assert_eq!(
+        rig.of_key("silent-paid"),
+        (1, 1),
+        "it ran and was billed; that was not to be known"
+    );
     // Asked again, the front says the same and sends nothing.
     let (_, again) = player.open_and_wait("silent-paid", PAID);
-    assert_eq!((reason(&again), rig.of_key("silent-paid")), ("no_answer", (1, 1)));
+    assert_eq!(
+        (reason(&again), rig.of_key("silent-paid")),
+        ("no_answer", (1, 1))
+    );
     rig.modes(|m| m.hangs = false);
     wait("the server to drop it", || rig.fleet.streams() == 0);
     assert_eq!(rig.verdict().breaches, []);
@@ -39,9 +52,15 @@
     let (_, said) = player.open_and_wait("late-paid", PAID);
     assert_eq!(reason(&said), "no_answer");
     rig.modes(|m| m.hangs = false); // Now it would answer.
-    assert!(player.is_silent(Duration::from_millis(300)), "one answer, not two");
+    assert!(
+        player.is_silent(Duration::from_millis(300)),
+        "one answer, not two"
+    );
     wait("the server to drop it", || rig.fleet.streams() == 0);
-    assert_eq!((rig.daemon.counts(), rig.of_key("late-paid").0), ((0, 0), 1));
+    assert_eq!(
+        (rig.daemon.counts(), rig.of_key("late-paid").0),
+        ((0, 0), 1)
+    );
 }
 
 #[test]
@@ -50,7 +69,10 @@
     rig.modes(|m| m.bills_and_resets = 1.0);
     let mut player = rig.player();
     let (_, said) = player.open_and_wait("billed-reset", PAID);
-    assert_eq!((reason(&said), rig.of_key("billed-reset")), ("broken", (1, 1)));
+    assert_eq!(
+        (reason(&said), rig.of_key("billed-reset")),
+        ("broken", (1, 1))
+    );
     // A free one may be tried elsewhere.
     let (_, said) = player.open_and_wait("free-reset", FREE);
     assert!(matches!(said, Said::Refused { .. } | Said::Failed { .. }));
@@ -90,7 +112,10 @@
     let call = second.open("reconnects", PAID);
     rig.modes(|m| m.hangs = false);
     let said = second.hear();
-    assert!(matches!(said, Said::Plays { id, .. } if id == call), "{said:?}");
+    assert!(
+        matches!(said, Said::Plays { id, .. } if id == call),
+        "{said:?}"
+    );
     assert_eq!(rig.of_key("reconnects"), (1, 1));
     assert!(second.is_silent(Duration::from_millis(200)));
     assert_eq!(rig.daemon.counts(), (0, 1));
@@ -107,7 +132,9 @@
         wait("the set-up to arrive", || rig.of_key(&key).0 == 1);
         drop(player);
         rig.modes(|m| m.hangs = false);
-        wait("the session to end", || rig.daemon.counts() == (0, 0) && rig.fleet.streams() == 0);
+        wait("the session to end", || {
+            rig.daemon.counts() == (0, 0) && rig.fleet.streams() == 0
+        });
         assert_eq!(rig.of_key(&key).0, 1);
     }
     assert_eq!(rig.verdict().breaches, []);
@@ -119,15 +146,24 @@
     rig.modes(|m| m.hangs = true);
     let (mut first, mut second) = (rig.player(), rig.player());
     let call = first.open("claimed-by-two", PAID);
-    wait("the set-up to arrive", || rig.of_key("claimed-by-two").0 == 1);
+    wait("the set-up to arrive", || {
+        rig.of_key("claimed-by-two").0 == 1
+    });
     let other = second.open("claimed-by-two", PAID);
     assert_eq!(first.hear(), Said::Superseded { id: call });
     rig.modes(|m| m.hangs = false);
-    let Said::Plays { id, session, .. } = second.hear() else { panic!() };
+    let Said::Plays { id, session, .. } = second.hear() else {
+        panic!()
+    };
     assert_eq!((id, rig.of_key("claimed-by-two")), (other, (1, 1)));
-    assert!(matches!(first.close_session(&session), Said::Unknown { .. }), "it is not the first one's");
+    assert!(
+        matches!(first.close_session(&session), Said::Unknown { .. }),
+        "it is not the first one's"
+    );
     // The first takes it back: the second is told so.
-    first.say(r#"{"jsonrpc":"2.0","id":9,"method":"session.resume","params":{"key":"claimed-by-two"}}"#);
+    first.say(
+        r#"{"jsonrpc":"2.0","id":9,"method":"session.resume","params":{"key":"claimed-by-two"}}"#,
+    );
     assert!(matches!(first.hear(), Said::Plays { id: 9, .. }));
     assert!(matches!(second.hear(), Said::End { reason, .. } if reason == "taken_over"));
     assert!(matches!(first.close_session(&session), Said::Closed { .. }));
@@ -141,10 +177,19 @@
     let mut player = rig.player();
     let asked = Instant::now();
     let (_, said) = player.open_and_wait("trickle-paid", PAID);
-    assert_eq!((reason(&said), rig.of_key("trickle-paid").0), ("no_answer", 1));
+    assert_eq!(
+        (reason(&said), rig.of_key("trickle-paid").0),
+        ("no_answer", 1)
+    );
     let (_, said) = player.open_and_wait("trickle-free", FREE);
-    assert!(matches!(said, Said::Refused { .. } | Said::Failed { .. }), "{said:?}");
-    assert!(asked.elapsed() < Duration::from_millis(3600), "1.5 s and 2 s, and some for this machine");
+    assert!(
+        matches!(said, Said::Refused { .. } | Said::Failed { .. }),
+        "{said:?}"
+    );
+    assert!(
+        asked.elapsed() < Duration::from_millis(3600),
+        "1.5 s and 2 s, and some for this machine"
+    );
     assert_eq!(rig.verdict().breaches, []);
 }
 
@@ -154,9 +199,15 @@
     rig.modes(|m| m.errors = 1.0);
     let mut player = rig.player();
     let (_, said) = player.open_and_wait("errors-paid", PAID);
-    assert_eq!((reason(&said), rig.of_key("errors-paid").0), ("server_error", 1));
+    assert_eq!(
+        (reason(&said), rig.of_key("errors-paid").0),
+        ("server_error", 1)
+    );
     let (_, said) = player.open_and_wait("errors-free", FREE);
-    assert!(matches!(said, Said::Refused { .. } | Said::Failed { .. }), "{said:?}");
+    assert!(
+        matches!(said, Said::Refused { .. } | Said::Failed { .. }),
+        "{said:?}"
+    );
     assert!(rig.of_key("errors-free").0 > 1);
 }
 
@@ -165,9 +216,13 @@
     let rig = Rig::new(&[]);
     let mut player = rig.player();
     let (_, said) = player.open_and_wait("lost-later", FREE);
-    let Said::Plays { session, .. } = said else { panic!("{said:?}") };
+    let Said::Plays { session, .. } = said else {
+        panic!("{said:?}")
+    };
     let holds = |r: &crankpaddle_lab::record::Record| match &r.seen {
-        Seen::SetUp { server, bill, .. } if *bill == crankpaddle_upstream::sessions::bill("lost-later") => {
+        Seen::SetUp { server, bill, .. }
+            if *bill == crankpaddle_upstream::sessions::bill("lost-later") =>
+        {
             Some(*server)
         }
         _ => None,
@@ -175,10 +230,27 @@
     let server = rig.recorder.all().iter().find_map(holds).unwrap();
     rig.fleet.crash(server);
     let told = player.hear();
-    let Said::End { session: of, reason, retry_after_ms } = told else { panic!("{told:?}") };
+    let Said::End {
+        session: of,
+        reason,
+        retry_after_ms,
+    } = told
+    else {
+        panic!("{told:?}")
+    };
     assert_eq!((of, reason.as_str()), (session, "server_lost"));
     assert!(retry_after_ms.is_some_and(|ms| (1..=1000).contains(&ms)));
-    assert_eq!(rig.seen(|s| matches!(s, Seen::Replied { reply: Reply::Plays, .. })), 2, "the probe and this");
+    assert_eq!(
+        rig.seen(|s| matches!(
+            s,
+            Seen::Replied {
+                reply: Reply::Plays,
+                ..
+            }
+        )),
+        2,
+        "the probe and this"
+    );
     // And the viewer comes again.
     let (_, said) = player.open_and_wait("lost-again", FREE);
     assert!(matches!(said, Said::Plays { .. }), "{said:?}");
@@ -192,7 +264,10 @@
     assert!(matches!(said, Said::Plays { .. }));
     rig.modes(|m| m.vanished = true);
     let told = player.hear();
-    assert!(matches!(&told, Said::End { reason, .. } if reason == "server_lost"), "{told:?}");
+    assert!(
+        matches!(&told, Said::End { reason, .. } if reason == "server_lost"),
+        "{told:?}"
+    );
 }
 
 #[test]
@@ -242,11 +317,16 @@
         (1..4).all(|id| rig.fleet.servers[id].listeners() > 0)
     });
     let mut crowd = rig.player();
-    let calls =
-        (0..40).map(|n| crowd.open_for(&format!("crowd-{n:03}"), FREE, "clip-05")).collect::<Vec<_>>();
+    let calls = (0..40)
+        .map(|n| crowd.open_for(&format!("crowd-{n:03}"), FREE, "clip-05"))
+        .collect::<Vec<_>>();
     for _ in &calls {
         while matches!(crowd.hear(), Said::Rung { .. } | Said::End { .. }) {}
     }
-    assert_eq!(rig.seen(|s| matches!(s, Seen::Fell { .. })), 0, "pushed over");
+    assert_eq!(
+        rig.seen(|s| matches!(s, Seen::Fell { .. })),
+        0,
+        "pushed over"
+    );
     assert_eq!(rig.verdict().breaches, []);
 }
--- a/crates/daemon/tests/traffic.rs
+++ b/crates/daemon/tests/traffic.rs
@@ -13,8 +13,10 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 
 /// A budget of which one session is more than all.
-const TIGHT: (&str, &str) =
-    ("log {", "budget { from: \"south\" to: \"north\" rate: \"1kB/s\" burst: \"1B\" repay: \"1s\" }\nlog {");
+const TIGHT: (&str, &str) = (
+    "log {",
+    "budget { from: \"south\" to: \"north\" rate: \"1kB/s\" burst: \"1B\" repay: \"1s\" }\nlog {",
+);
 
 fn report(address: SocketAddr) -> Report {
     crankpaddle_traffic_report::fetch(&address, LONG).unwrap()
@@ -37,7 +39,10 @@
 fn file() -> PathBuf {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let n = NEXT.fetch_add(1, Ordering::Relaxed);
-    std::env::temp_dir().join(format!("crankpaddle-traffic-{}-{n}.json", std::process::id()))
+    std::env::temp_dir().join(format!(
+        "crankpaddle-traffic-{}-{n}.json",
+        std::process::id()
+    ))
 }
 
 /// Plays sessions of a class one by one; gives the servers that they came to.
@@ -49,8 +54,18 @@
         loop {
             match player.hear() {
                 Said::Plays { id, media, .. } if id == call => {
-                    let address = media.trim_start_matches("http://").split('/').next().unwrap().to_owned();
-                    let server = rig.fleet.servers.iter().find(|s| s.address.to_string() == address).unwrap();
+                    let address = media
+                        .trim_start_matches("http://")
+                        .split('/')
+                        .next()
+                        .unwrap()
+                        .to_owned();
+                    let server = rig
+                        .fleet
+                        .servers
+                        .iter()
+                        .find(|s| s.address.to_string() == address)
+                        .unwrap();
                     all.push(server.id);
                     break;
                 }
@@ -70,7 +85,10 @@
     // Uneven servers are in the south. One session that crosses uses the budget up, whichever class it has.
     let south = |id: &u32| id % 2 == 1;
     let first = servers(&rig, FREE, "before", 12);
-    assert!(first.iter().filter(|id| south(id)).count() <= 1, "{first:?}");
+    assert!(
+        first.iter().filter(|id| south(id)).count() <= 1,
+        "{first:?}"
+    );
     wait("the budget to be told as used up or not needed", || {
         report(rig.daemon.address()).budgets.len() == 1
     });
@@ -78,7 +96,8 @@
     for id in (0..12).filter(|id| !south(id)) {
         rig.fleet.crash(id);
         let address = rig.fleet.servers[id as usize].address;
-        rig.list.change(entry(&rig.config, id, address, State::Gone, 0));
+        rig.list
+            .change(entry(&rig.config, id, address, State::Gone, 0));
     }
     wait("the sessions to be over", || rig.daemon.counts() == (0, 0));
     wait("the front to know that its hall is gone", || {
@@ -108,7 +127,9 @@
     // Some media is fetched, and cut off within a segment.
     let mut player = rig.player();
     let (_, said) = player.open_and_wait("fetched-1", FREE);
-    let Said::Plays { media, session, .. } = said else { panic!("{said:?}") };
+    let Said::Plays { media, session, .. } = said else {
+        panic!("{said:?}")
+    };
     fetch_some(&media);
     player.close_session(&session);
     wait("all to be settled", || {
@@ -118,8 +139,9 @@
     let told = report(rig.daemon.address());
     assert!(logged.bytes.values().sum::<u64>() > 0);
     for ((from, to, class), bytes) in &logged.bytes {
-        let of =
-            |f: &&crankpaddle_traffic::report::FlowReport| (&f.from, &f.to, &f.class) == (from, to, class);
+        let of = |f: &&crankpaddle_traffic::report::FlowReport| {
+            (&f.from, &f.to, &f.class) == (from, to, class)
+        };
         let sum: u64 = told.flows.iter().filter(of).map(|f| f.bytes).sum();
         assert_eq!(sum, *bytes, "{from} {to} {class}");
     }
@@ -131,7 +153,8 @@
     let named = format!("front {{\n  traffic_file: {:?}", kept.to_str().unwrap());
     let rig = Rig::new(&[]);
     let start = || {
-        let text = rig::front(&rig::text(&[]), &rig.list.address, "").replacen("front {", &named, 1);
+        let text =
+            rig::front(&rig::text(&[]), &rig.list.address, "").replacen("front {", &named, 1);
         Daemon::start(crankpaddle_config::parse(&text).unwrap())
     };
     let total = |r: &Report| r.flows.iter().map(|f| f.bytes).sum::<u64>();
@@ -140,7 +163,9 @@
     let mut tries = 0;
     let media = loop {
         tries += 1;
-        if let (_, Said::Plays { media, .. }) = player.open_and_wait(&format!("kept-{tries:04}"), FREE) {
+        if let (_, Said::Plays { media, .. }) =
+            player.open_and_wait(&format!("kept-{tries:04}"), FREE)
+        {
             break media;
         }
         assert!(tries < 10_000, "the list never came");
--- a/crates/fleet-net/examples/foca.rs
+++ b/crates/fleet-net/examples/foca.rs
@@ -7,8 +7,8 @@
 };
 use crankpaddle_membership::{Standing, State};
 use foca::{
-    AccumulatingRuntime, Config, Foca, Identity, NoCustomBroadcast, OwnedNotification, PeriodicParams,
-    PostcardCodec, Timer,
+    AccumulatingRuntime, Config, Foca, Identity, NoCustomBroadcast, OwnedNotification,
+    PeriodicParams, PostcardCodec, Timer,
 };
 use rand_for_foca::rngs::StdRng;
 use rand_for_foca::SeedableRng;
@@ -31,7 +31,10 @@
     type Addr = u32;
 
     fn renew(&self) -> Option<Id> {
-        Some(Id { life: self.life + 1, ..self.clone() })
+        Some(Id {
+            life: self.life + 1,
+            ..self.clone()
+        })
     }
 
     fn addr(&self) -> u32 {
@@ -103,7 +106,15 @@
         ..Config::new_lan(size)
     };
     let rng = StdRng::seed_from_u64(seed);
-    Foca::new(Id { number: i as u32, life }, config, rng, PostcardCodec)
+    Foca::new(
+        Id {
+            number: i as u32,
+            life,
+        },
+        config,
+        rng,
+        PostcardCodec,
+    )
 }
 
 impl Net {
@@ -157,23 +168,37 @@
             let to = to.number as usize;
             let sent = &mut self.nodes[i].sent;
             *sent = (sent.0 + 1, sent.1 + bytes.len() as u64);
-            for at in self.weather.arrivals(self.now, (i, to), bytes.len(), &mut self.rng) {
+            for at in self
+                .weather
+                .arrivals(self.now, (i, to), bytes.len(), &mut self.rng)
+            {
                 self.push(at, Event::Datagram(to, bytes.to_vec()));
             }
         }
         while let Some((after, timer)) = runtime.to_schedule() {
-            self.push(self.now + after.as_nanos() as u64, Event::Timer(i, life, timer));
+            self.push(
+                self.now + after.as_nanos() as u64,
+                Event::Timer(i, life, timer),
+            );
         }
         while let Some(word) = runtime.to_notify() {
             let (of, state) = match word {
-                OwnedNotification::MemberUp(id) | OwnedNotification::Rename(_, id) => (id, State::Alive),
+                OwnedNotification::MemberUp(id) | OwnedNotification::Rename(_, id) => {
+                    (id, State::Alive)
+                }
                 OwnedNotification::MemberDown(id) => (id, State::Gone),
                 _ => continue,
             };
             let known = &mut self.nodes[i].states[of.number as usize];
             let restarted = known.is_some_and(|(_, life)| life != of.life);
             *known = Some((state, of.life));
-            self.turns.push(Turn { at: self.now, by: i, of: of.number as usize, state, restarted });
+            self.turns.push(Turn {
+                at: self.now,
+                by: i,
+                of: of.number as usize,
+                state,
+                restarted,
+            });
         }
     }
 
@@ -211,7 +236,10 @@
                     return;
                 }
                 for seed in self.seeds.clone().into_iter().filter(|seed| *seed != i) {
-                    let to = Id { number: seed as u32, life: 0 };
+                    let to = Id {
+                        number: seed as u32,
+                        life: 0,
+                    };
                     self.tell(i, |m, runtime| drop(m.announce(to, runtime)));
                 }
                 self.push(self.now + 2 * SECOND, Event::Seek(i, life));
@@ -222,7 +250,9 @@
     fn go(&mut self, time: u64) {
         let until = self.now + time;
         while self.queue.peek().is_some_and(|Reverse(q)| q.0 <= until) {
-            let Some(Reverse(Queued(at, _, event))) = self.queue.pop() else { break };
+            let Some(Reverse(Queued(at, _, event))) = self.queue.pop() else {
+                break;
+            };
             self.now = self.now.max(at);
             self.step(event);
         }
@@ -248,22 +278,32 @@
         let each = |fronts: &Fronts| fronts.of(n);
         match act {
             Act::Start(fronts) => {
-                let down: Vec<usize> = each(fronts).into_iter().filter(|i| !self.nodes[*i].up).collect();
+                let down: Vec<usize> = each(fronts)
+                    .into_iter()
+                    .filter(|i| !self.nodes[*i].up)
+                    .collect();
                 down.into_iter().for_each(|i| self.start(i));
             }
-            Act::Kill(fronts) => each(fronts).into_iter().for_each(|i| self.nodes[i].up = false),
+            Act::Kill(fronts) => each(fronts)
+                .into_iter()
+                .for_each(|i| self.nodes[i].up = false),
             Act::End(fronts) => {
                 for i in each(fronts) {
                     self.tell(i, |m, runtime| drop(m.leave_cluster(runtime)));
                     self.nodes[i].up = false;
                 }
             }
-            Act::Stop(fronts) => each(fronts).into_iter().for_each(|i| self.nodes[i].stopped = true),
+            Act::Stop(fronts) => each(fronts)
+                .into_iter()
+                .for_each(|i| self.nodes[i].stopped = true),
             Act::GoOn(fronts) => {
                 for i in each(fronts) {
                     let node = &mut self.nodes[i];
                     node.stopped = false;
-                    let (heard, late) = (std::mem::take(&mut node.backlog), std::mem::take(&mut node.late));
+                    let (heard, late) = (
+                        std::mem::take(&mut node.backlog),
+                        std::mem::take(&mut node.late),
+                    );
                     heard.into_iter().for_each(|bytes| self.hear(i, &bytes));
                     late.into_iter().for_each(|timer| self.timer(i, timer));
                 }
@@ -304,7 +344,10 @@
     fn sent(&self) -> Rate {
         let time = (self.now - 100 * SECOND).max(1) as f64 / SECOND as f64;
         let most = |most: Rate, sent: (u64, u64)| {
-            (most.0.max(sent.0 as f64 / time), most.1.max(sent.1 as f64 / time))
+            (
+                most.0.max(sent.0 as f64 / time),
+                most.1.max(sent.1 as f64 / time),
+            )
         };
         self.nodes.iter().map(|n| n.sent).fold((0.0, 0.0), most)
     }
@@ -313,7 +356,8 @@
 fn main() {
     let args: Vec<String> = std::env::args().skip(1).collect();
     let wanted = args.first().map(String::as_str).unwrap_or("deaths");
-    let number = |i: usize, default: u64| args.get(i).and_then(|a| a.parse().ok()).unwrap_or(default);
+    let number =
+        |i: usize, default: u64| args.get(i).and_then(|a| a.parse().ok()).unwrap_or(default);
     let (fronts, seed) = (number(1, 40) as usize, number(2, 1));
     let Some((_, text)) = CASES.iter().find(|(known, _)| *known == wanted) else {
         return eprintln!("{wanted}: no such case");
@@ -323,7 +367,12 @@
         Err(what) => eprintln!("{wanted}: {what}"),
         Ok(played) => {
             for c in &played.claims {
-                println!("{}: {}: {}", if c.kept { "kept" } else { "BROKEN" }, c.what, c.measured);
+                println!(
+                    "{}: {}: {}",
+                    if c.kept { "kept" } else { "BROKEN" },
+                    c.what,
+                    c.measured
+                );
             }
             let ((kept, all), sent) = (played.kept(), played.sent);
             println!("foca {wanted}: fronts {fronts}, claims kept {kept}/{all}, {:.1} datagrams, {:.0} bytes a second", sent.0, sent.1);
--- a/crates/fleet-net/src/net.rs
+++ b/crates/fleet-net/src/net.rs
@@ -19,7 +19,11 @@
 
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
-    Datagram { from: usize, to: usize, bytes: Vec<u8> },
+    Datagram {
+        from: usize,
+        to: usize,
+        bytes: Vec<u8>,
+    },
     Wake(usize),
 }
 
@@ -173,13 +177,21 @@
     }
 
     /// Has a member do something and carries out what comes of it.
-    pub fn tell<T>(&mut self, i: usize, what: impl FnOnce(&mut Peers, u64, &mut Vec<Output>) -> T) -> T {
+    pub fn tell<T>(
+        &mut self,
+        i: usize,
+        what: impl FnOnce(&mut Peers, u64, &mut Vec<Output>) -> T,
+    ) -> T {
         let mut out = Vec::new();
         let result = what(&mut self.nodes[i].peers, self.now, &mut out);
         for output in out {
             match output {
-                Output::Send { address: to, bytes, .. } => {
-                    let Some(to) = self.names.get(&to).copied() else { continue };
+                Output::Send {
+                    address: to, bytes, ..
+                } => {
+                    let Some(to) = self.names.get(&to).copied() else {
+                        continue;
+                    };
                     if self.keep_copies {
                         self.copies.push((i, to, bytes.clone()));
                     }
@@ -195,8 +207,18 @@
 
     /// Puts a datagram on its way.
     pub fn carry(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
-        for at in self.weather.arrivals(self.now, (from, to), bytes.len(), &mut self.rng) {
-            self.push(at, Event::Datagram { from, to, bytes: bytes.clone() });
+        for at in self
+            .weather
+            .arrivals(self.now, (from, to), bytes.len(), &mut self.rng)
+        {
+            self.push(
+                at,
+                Event::Datagram {
+                    from,
+                    to,
+                    bytes: bytes.clone(),
+                },
+            );
         }
     }
 
@@ -204,14 +226,24 @@
     fn anew(&mut self, i: usize) {
         let known = self.nodes[i].seeds.clone();
         self.lives += 1;
-        self.start(Settings { epoch: 500_000, life: 1_000_000 + self.lives, ..settings(i, &known) });
+        self.start(Settings {
+            epoch: 500_000,
+            life: 1_000_000 + self.lives,
+            ..settings(i, &known)
+        });
     }
 
     /// Goes on for a time.
     fn go(&mut self, time: u64) {
         let until = self.now + time;
-        while self.queue.peek().is_some_and(|Reverse((at, ..))| *at <= until) {
-            let Some(Reverse((at, _, event))) = self.queue.pop() else { break };
+        while self
+            .queue
+            .peek()
+            .is_some_and(|Reverse((at, ..))| *at <= until)
+        {
+            let Some(Reverse((at, _, event))) = self.queue.pop() else {
+                break;
+            };
             self.now = self.now.max(at);
             match event {
                 Event::Datagram { from, to, bytes } => self.deliver(from, to, bytes),
@@ -305,7 +337,11 @@
         let each = |fronts: &Fronts| fronts.of(n);
         match act {
             Act::Start(fronts) => {
-                for i in each(fronts).into_iter().filter(|i| !self.nodes[*i].up).collect::<Vec<_>>() {
+                for i in each(fronts)
+                    .into_iter()
+                    .filter(|i| !self.nodes[*i].up)
+                    .collect::<Vec<_>>()
+                {
                     self.anew(i);
                 }
             }
@@ -329,7 +365,9 @@
             }
             Act::Runs(..) => {} // There is one build here.
             Act::Power(_) => {
-                return Err("only processes have disks and servers; play it without --virtual".to_owned())
+                return Err(
+                    "only processes have disks and servers; play it without --virtual".to_owned(),
+                )
             }
             Act::Write(i) => {
                 let written = self.tell(*i, |p, now, _| p.write(now, 1, vec![7; 100]));
@@ -351,7 +389,13 @@
     fn turns(&self, from: u64) -> Vec<Turn> {
         let turn = |(at, by, c): &(u64, usize, Change)| {
             let of = *self.names.get(&c.name)?;
-            Some(Turn { at: *at, by: *by, of, state: c.state, restarted: c.restarted })
+            Some(Turn {
+                at: *at,
+                by: *by,
+                of,
+                state: c.state,
+                restarted: c.restarted,
+            })
         };
         let since = self.changes.partition_point(|(at, ..)| *at < from);
         self.changes[since..].iter().filter_map(turn).collect()
@@ -367,9 +411,16 @@
         let time = (self.now - BEGIN).max(1) as f64 / SECOND as f64;
         let rate = |(node, before): (&Node, &(u64, u64))| {
             let sent = node.peers.counters().sent;
-            ((sent.0 + before.0) as f64 / time, (sent.1 + before.1) as f64 / time)
+            (
+                (sent.0 + before.0) as f64 / time,
+                (sent.1 + before.1) as f64 / time,
+            )
         };
         let most = |most: Rate, rate: Rate| (most.0.max(rate.0), most.1.max(rate.1));
-        self.nodes.iter().zip(&self.sent_before).map(rate).fold((0.0, 0.0), most)
+        self.nodes
+            .iter()
+            .zip(&self.sent_before)
+            .map(rate)
+            .fold((0.0, 0.0), most)
     }
 }
--- a/crates/fleet-net/src/play.rs
+++ b/crates/fleet-net/src/play.rs
@@ -31,7 +31,10 @@
 impl Played {
     /// Claims that hold, of all.
     pub fn kept(&self) -> (usize, usize) {
-        (self.claims.iter().filter(|c| c.kept).count(), self.claims.len())
+        (
+            self.claims.iter().filter(|c| c.kept).count(),
+            self.claims.len(),
+        )
     }
 }
 
@@ -54,7 +57,10 @@
             Step::Claim(what, claim) => claims.push(judge(what, claim, mark, world)),
         }
     }
-    Ok(Played { claims, sent: world.sent() })
+    Ok(Played {
+        claims,
+        sent: world.sent(),
+    })
 }
 
 /// Lets time pass until something holds; how long it took.
@@ -72,14 +78,24 @@
 fn within(what: &str, bound: u64, took: Option<u64>, more: &str) -> Judged {
     let measured = took.map_or("not at all".to_owned(), seconds) + more;
     let kept = took.is_some_and(|took| took <= bound);
-    Judged { what: format!("{what} within {}", seconds(bound)), measured, kept }
+    Judged {
+        what: format!("{what} within {}", seconds(bound)),
+        measured,
+        kept,
+    }
 }
 
 /// When half of the turns that count had come, after the first moment.
 fn half(turns: &[Turn], from: u64, counts: impl Fn(&Turn) -> bool) -> String {
-    let mut times: Vec<u64> = turns.iter().filter(|t| counts(t)).map(|t| t.at.saturating_sub(from)).collect();
+    let mut times: Vec<u64> = turns
+        .iter()
+        .filter(|t| counts(t))
+        .map(|t| t.at.saturating_sub(from))
+        .collect();
     times.sort_unstable();
-    times.get(times.len() / 2).map_or(String::new(), |half| format!(", half of it at {}", seconds(*half)))
+    times.get(times.len() / 2).map_or(String::new(), |half| {
+        format!(", half of it at {}", seconds(*half))
+    })
 }
 
 fn judge<W: World + ?Sized>(what: &str, claim: &Claim, mark: u64, world: &mut W) -> Judged {
@@ -90,12 +106,16 @@
             let (at, of, bound) = (at.of(fleet), of.of(fleet), bound.of(fleet));
             let took = until(world, 2 * bound, |w| all(w, &at, &of, *state));
             let counts = |t: &Turn| t.state == *state && at.contains(&t.by) && of.contains(&t.of);
-            let half =
-                if *state == State::Alive { String::new() } else { half(&world.turns(from), from, counts) };
+            let half = if *state == State::Alive {
+                String::new()
+            } else {
+                half(&world.turns(from), from, counts)
+            };
             within(what, bound, took, &half)
         }
         Claim::Accused(by, but, most, each) => {
-            let wrong = |t: &&Turn| t.state == State::Gone && by.has(t.by, fleet) && !but.has(t.of, fleet);
+            let wrong =
+                |t: &&Turn| t.state == State::Gone && by.has(t.by, fleet) && !but.has(t.of, fleet);
             let count = world.turns(mark).iter().filter(wrong).count();
             let most = f64::from(*most) + each * fleet as f64;
             Judged {
@@ -106,16 +126,22 @@
         }
         Claim::Stands(who, standing, bound) => {
             let (who, bound) = (who.of(fleet), bound.of(fleet));
-            let took = until(world, 2 * bound, |w| who.iter().all(|i| w.standing(*i) == Some(*standing)));
+            let took = until(world, 2 * bound, |w| {
+                who.iter().all(|i| w.standing(*i) == Some(*standing))
+            });
             within(what, bound, took, "")
         }
         Claim::News(at, of, bound) => {
             let (at, of, bound) = (at.of(fleet), of.of(fleet), bound.of(fleet));
             let took = until(world, 2 * bound, |w| {
                 let turns = w.turns(mark);
-                let heard: BTreeSet<(usize, usize)> =
-                    turns.iter().filter(|t| t.restarted).map(|t| (t.by, t.of)).collect();
-                at.iter().all(|a| of.iter().all(|o| heard.contains(&(*a, *o))))
+                let heard: BTreeSet<(usize, usize)> = turns
+                    .iter()
+                    .filter(|t| t.restarted)
+                    .map(|t| (t.by, t.of))
+                    .collect();
+                at.iter()
+                    .all(|a| of.iter().all(|o| heard.contains(&(*a, *o))))
             });
             within(what, bound, took, "")
         }
@@ -139,10 +165,21 @@
                 holding as f64 >= part * (fleet - 1) as f64
             };
             let took = until(world, 2 * bound, enough);
-            let off = (1..fleet).filter_map(|i| world.entry(i)).map(|(says, is)| says.abs_diff(is)).max();
+            let off = (1..fleet)
+                .filter_map(|i| world.entry(i))
+                .map(|(says, is)| says.abs_diff(is))
+                .max();
             let off = off.unwrap_or(u64::MAX);
-            let judged = within(what, bound, took, &format!(", ages off by {} ms at most", off / MS));
-            Judged { kept: judged.kept && off <= *age, ..judged }
+            let judged = within(
+                what,
+                bound,
+                took,
+                &format!(", ages off by {} ms at most", off / MS),
+            );
+            Judged {
+                kept: judged.kept && off <= *age,
+                ..judged
+            }
         }
     }
 }
--- a/crates/fleet-net/src/script.rs
+++ b/crates/fleet-net/src/script.rs
@@ -31,10 +31,16 @@
     ("replace", include_str!("../cases/replace.textproto")),
     ("power", include_str!("../cases/power.textproto")),
     ("power-calm", include_str!("../cases/power-calm.textproto")),
-    ("power-fronts", include_str!("../cases/power-fronts.textproto")),
+    (
+        "power-fronts",
+        include_str!("../cases/power-fronts.textproto"),
+    ),
     ("power-hall", include_str!("../cases/power-hall.textproto")),
     ("power-few", include_str!("../cases/power-few.textproto")),
-    ("power-disks", include_str!("../cases/power-disks.textproto")),
+    (
+        "power-disks",
+        include_str!("../cases/power-disks.textproto"),
+    ),
 ];
 
 /// Fronts of a fleet of any size.
@@ -56,7 +62,10 @@
 impl Fronts {
     /// All of them.
     pub fn all() -> Fronts {
-        Fronts { others: false, listed: vec![Part::All] }
+        Fronts {
+            others: false,
+            listed: vec![Part::All],
+        }
     }
 
     /// Whether the front of this number is one of them, in a fleet of so many.
@@ -65,7 +74,9 @@
             Part::All => true,
             Part::Range(a, b) => (*a..=*b).contains(&front),
             Part::Every(from, by) => front >= *from && (front - from).is_multiple_of(*by),
-            Part::Of(a, b) => (front as f64) >= a * fleet as f64 && (front as f64) < b * fleet as f64,
+            Part::Of(a, b) => {
+                (front as f64) >= a * fleet as f64 && (front as f64) < b * fleet as f64
+            }
             Part::Group(fronts) => fronts.has(front, fleet),
         };
         self.listed.iter().any(within) != self.others
@@ -77,7 +88,9 @@
     }
 
     fn parse(text: &str, groups: &HashMap<String, Fronts>) -> Result<Fronts, String> {
-        let (others, list) = text.strip_prefix('!').map_or((false, text), |rest| (true, rest));
+        let (others, list) = text
+            .strip_prefix('!')
+            .map_or((false, text), |rest| (true, rest));
         let part = |item: &str| -> Option<Part> {
             let number = |text: &str| text.parse::<usize>().ok();
             let percent = |text: &str| {
@@ -99,7 +112,10 @@
                 number(item).map(|n| Part::Range(n, n))
             }
         };
-        let listed = list.split(',').map(str::trim).filter(|item| *item != "none");
+        let listed = list
+            .split(',')
+            .map(str::trim)
+            .filter(|item| *item != "none");
         let listed: Result<Vec<Part>, String> = listed
             .map(|item| {
                 part(item).ok_or_else(|| {
@@ -110,7 +126,10 @@
                 })
             })
             .collect();
-        Ok(Fronts { others, listed: listed? })
+        Ok(Fronts {
+            others,
+            listed: listed?,
+        })
     }
 }
 
@@ -255,12 +274,18 @@
 impl Case {
     /// Whether it writes on the board, which only runs in virtual time do yet.
     pub fn needs_board(&self) -> bool {
-        self.steps.iter().any(|step| matches!(step, Step::Act(Act::Write(_))))
+        self.steps
+            .iter()
+            .any(|step| matches!(step, Step::Act(Act::Write(_))))
     }
 
     /// Whether it needs processes with disks.
     pub fn needs_disks(&self) -> bool {
-        self.disks || self.steps.iter().any(|step| matches!(step, Step::Act(Act::Power(_))))
+        self.disks
+            || self
+                .steps
+                .iter()
+                .any(|step| matches!(step, Step::Act(Act::Power(_))))
     }
 }
 
@@ -271,7 +296,13 @@
 pub fn parse(text: &str) -> Result<Case, Vec<Problem>> {
     let mut checks = Checks::new(text);
     let raw = checks.structure::<schema::Case>(DESCRIPTORS, "crankpaddle.fleet.v1.Case", "");
-    let case = raw.map(|raw| Reader { c: &mut checks, groups: HashMap::new() }.case(&raw));
+    let case = raw.map(|raw| {
+        Reader {
+            c: &mut checks,
+            groups: HashMap::new(),
+        }
+        .case(&raw)
+    });
     checks.verdict(case)
 }
 
@@ -287,11 +318,20 @@
             let fronts = self.fronts(&format!("group[{i}].fronts"), &group.fronts);
             self.groups.insert(group.name.clone(), fronts);
         }
-        let or =
-            |text: &str, default: &str| if text.is_empty() { default.to_owned() } else { text.to_owned() };
+        let or = |text: &str, default: &str| {
+            if text.is_empty() {
+                default.to_owned()
+            } else {
+                text.to_owned()
+            }
+        };
         let (first, seeds) = (or(&raw.first, "all"), or(&raw.seeds, "0"));
-        let steps =
-            raw.step.iter().enumerate().map(|(i, step)| self.step(&format!("step[{i}]"), step)).collect();
+        let steps = raw
+            .step
+            .iter()
+            .enumerate()
+            .map(|(i, step)| self.step(&format!("step[{i}]"), step))
+            .collect();
         Case {
             name: raw.name.clone(),
             what: raw.what.clone(),
@@ -316,8 +356,11 @@
             return Bound { within: 0, more: 0 };
         };
         let within = self.c.time(&format!("{path}.bound.within"), &raw.within);
-        let more =
-            if raw.more.is_empty() { 0 } else { self.c.time(&format!("{path}.bound.more"), &raw.more) };
+        let more = if raw.more.is_empty() {
+            0
+        } else {
+            self.c.time(&format!("{path}.bound.more"), &raw.more)
+        };
         Bound { within, more }
     }
 
@@ -325,12 +368,22 @@
         let part = |c: &mut Checks<'_>, field: &str, value: f64| {
             c.within(&format!("{path}.{field}"), value, 0.0, 1.0)
         };
-        let (loss, doubled) = (part(self.c, "loss", raw.loss), part(self.c, "doubled", raw.doubled));
+        let (loss, doubled) = (
+            part(self.c, "loss", raw.loss),
+            part(self.c, "doubled", raw.doubled),
+        );
         let delay = (!raw.most.is_empty()).then(|| {
-            let least =
-                if raw.least.is_empty() { 0 } else { self.c.time(&format!("{path}.least"), &raw.least) };
+            let least = if raw.least.is_empty() {
+                0
+            } else {
+                self.c.time(&format!("{path}.least"), &raw.least)
+            };
             let most = self.c.time(&format!("{path}.most"), &raw.most);
-            self.c.must(least <= most, &format!("{path}.least"), "is more than the most");
+            self.c.must(
+                least <= most,
+                &format!("{path}.least"),
+                "is more than the most",
+            );
             (least, most.max(least))
         });
         let bandwidth = match raw.bandwidth.as_str() {
@@ -338,7 +391,12 @@
             // Danger: rates are read in kB a second, and this is in bytes.
             text => self.c.rate(&format!("{path}.bandwidth"), text) * 1000.0,
         };
-        Act::Net { loss, doubled, delay, bandwidth }
+        Act::Net {
+            loss,
+            doubled,
+            delay,
+            bandwidth,
+        }
     }
 
     fn step(&mut self, at: &str, raw: &schema::Step) -> Step {
@@ -346,7 +404,8 @@
         let path = |field: &str| format!("{at}.{field}");
         match &raw.kind {
             None => {
-                self.c.wrong(at, "says nothing; see the schema for its kinds");
+                self.c
+                    .wrong(at, "says nothing; see the schema for its kinds");
                 Step::Mark
             }
             Some(Raw::Start(f)) => Step::Act(Act::Start(self.fronts(&path("start"), f))),
@@ -356,7 +415,10 @@
             Some(Raw::GoOn(f)) => Step::Act(Act::GoOn(self.fronts(&path("go_on"), f))),
             Some(Raw::Restart(r)) => {
                 let fronts = self.fronts(&path("restart.fronts"), &r.fronts);
-                Step::Act(Act::Restart(fronts, self.c.time(&path("restart.after"), &r.after)))
+                Step::Act(Act::Restart(
+                    fronts,
+                    self.c.time(&path("restart.after"), &r.after),
+                ))
             }
             Some(Raw::Net(net)) => Step::Act(self.net(&path("net"), net)),
             Some(Raw::Cut(cut)) => Step::Act(Act::Cut {
@@ -367,33 +429,49 @@
             Some(Raw::Heal(_)) => Step::Act(Act::Heal),
             Some(Raw::Flood(f)) => {
                 let fronts = self.fronts(&path("flood.fronts"), &f.fronts);
-                Step::Act(Act::Flood(fronts, self.c.count(&path("flood.times"), f.times, 1, 1000)))
+                Step::Act(Act::Flood(
+                    fronts,
+                    self.c.count(&path("flood.times"), f.times, 1, 1000),
+                ))
             }
             Some(Raw::Run(time)) => Step::Run(self.c.time(&path("run"), time)),
             Some(Raw::Mark(_)) => Step::Mark,
             Some(Raw::Write(front)) => Step::Act(Act::Write(*front as usize)),
             Some(Raw::See(see)) => {
-                let (seeing, of) =
-                    (self.fronts(&path("see.at"), &see.at), self.fronts(&path("see.of"), &see.of));
+                let (seeing, of) = (
+                    self.fronts(&path("see.at"), &see.at),
+                    self.fronts(&path("see.of"), &see.of),
+                );
                 let state = match see.state() {
                     schema::State::Alive => State::Alive,
                     schema::State::Suspect => State::Suspect,
                     schema::State::Gone => State::Gone,
                     schema::State::Left => State::Left,
                     schema::State::Unstated => {
-                        self.c.wrong(&path("see"), "has no state: ALIVE, SUSPECT, GONE or LEFT");
+                        self.c
+                            .wrong(&path("see"), "has no state: ALIVE, SUSPECT, GONE or LEFT");
                         State::Alive
                     }
                 };
                 let bound = self.bound(&path("see"), &see.bound);
-                self.claim(&path("see"), &see.claim, Claim::See(seeing, of, state, bound))
+                self.claim(
+                    &path("see"),
+                    &see.claim,
+                    Claim::See(seeing, of, state, bound),
+                )
             }
             Some(Raw::Accused(a)) => {
                 let by = self.fronts(&path("accused.by"), &a.by);
                 let but = if a.but.is_empty() { "none" } else { &a.but };
                 let but = self.fronts(&path("accused.but"), but);
-                let each = self.c.within(&path("accused.a_front"), a.a_front, 0.0, 1000.0);
-                self.claim(&path("accused"), &a.claim, Claim::Accused(by, but, a.most, each))
+                let each = self
+                    .c
+                    .within(&path("accused.a_front"), a.a_front, 0.0, 1000.0);
+                self.claim(
+                    &path("accused"),
+                    &a.claim,
+                    Claim::Accused(by, but, a.most, each),
+                )
             }
             Some(Raw::Stands(s)) => {
                 let standing = match s.r#as() {
@@ -410,12 +488,21 @@
                         Standing::Alone
                     }
                 };
-                let (who, bound) =
-                    (self.fronts(&path("stands.at"), &s.at), self.bound(&path("stands"), &s.bound));
-                self.claim(&path("stands"), &s.claim, Claim::Stands(who, standing, bound))
+                let (who, bound) = (
+                    self.fronts(&path("stands.at"), &s.at),
+                    self.bound(&path("stands"), &s.bound),
+                );
+                self.claim(
+                    &path("stands"),
+                    &s.claim,
+                    Claim::Stands(who, standing, bound),
+                )
             }
             Some(Raw::News(n)) => {
-                let (by, of) = (self.fronts(&path("news.at"), &n.at), self.fronts(&path("news.of"), &n.of));
+                let (by, of) = (
+                    self.fronts(&path("news.at"), &n.at),
+                    self.fronts(&path("news.of"), &n.of),
+                );
                 let bound = self.bound(&path("news"), &n.bound);
                 self.claim(&path("news"), &n.claim, Claim::News(by, of, bound))
             }
@@ -427,13 +514,16 @@
                 let (fronts, servers) = self.power(&path("power_on"), p);
                 Step::Act(Act::Power(Power::On(fronts, servers, p.list)))
             }
-            Some(Raw::Runs(r)) => Step::Act(Act::Runs(self.fronts(&path("runs.fronts"), &r.fronts), r.other)),
+            Some(Raw::Runs(r)) => Step::Act(Act::Runs(
+                self.fronts(&path("runs.fronts"), &r.fronts),
+                r.other,
+            )),
             Some(Raw::CopyDisks(f)) => {
                 Step::Act(Act::Power(Power::Copy(self.fronts(&path("copy_disks"), f))))
             }
-            Some(Raw::LoseBooks(f)) => {
-                Step::Act(Act::Power(Power::LoseBooks(self.fronts(&path("lose_books"), f))))
-            }
+            Some(Raw::LoseBooks(f)) => Step::Act(Act::Power(Power::LoseBooks(
+                self.fronts(&path("lose_books"), f),
+            ))),
             Some(Raw::Disk(d)) => {
                 let spoil = match d.is() {
                     schema::Spoil::Intact => Spoil::Intact,
@@ -441,7 +531,10 @@
                     schema::Spoil::Old => Spoil::Old,
                     schema::Spoil::Torn => Spoil::Torn,
                 };
-                Step::Act(Act::Power(Power::Disk(self.fronts(&path("disk.fronts"), &d.fronts), spoil)))
+                Step::Act(Act::Power(Power::Disk(
+                    self.fronts(&path("disk.fronts"), &d.fronts),
+                    spoil,
+                )))
             }
             Some(Raw::Back(b)) => {
                 let part = self.c.within(&path("back.part"), b.part, 0.01, 1.0);
@@ -458,13 +551,23 @@
     }
 
     fn power(&mut self, path: &str, raw: &schema::Power) -> (Fronts, Fronts) {
-        let or_none = |text: &str| if text.is_empty() { "none".to_owned() } else { text.to_owned() };
+        let or_none = |text: &str| {
+            if text.is_empty() {
+                "none".to_owned()
+            } else {
+                text.to_owned()
+            }
+        };
         let fronts = self.fronts(&format!("{path}.fronts"), &or_none(&raw.fronts));
-        (fronts, self.fronts(&format!("{path}.servers"), &or_none(&raw.servers)))
+        (
+            fronts,
+            self.fronts(&format!("{path}.servers"), &or_none(&raw.servers)),
+        )
     }
 
     fn claim(&mut self, path: &str, name: &str, claim: Claim) -> Step {
-        self.c.must(!name.is_empty(), path, "has no claim to be named by");
+        self.c
+            .must(!name.is_empty(), path, "has no claim to be named by");
         Step::Claim(name.to_owned(), claim)
     }
 }
@@ -491,7 +594,12 @@
             assert_eq!(Fronts::parse(text, &groups).unwrap().of(10), of, "{text}");
         }
         for bad in ["", "x", "3/0", "5%-200%", "-", "!!3"] {
-            assert!(Fronts::parse(bad, &groups).unwrap_err().contains("allowed: all"), "{bad}");
+            assert!(
+                Fronts::parse(bad, &groups)
+                    .unwrap_err()
+                    .contains("allowed: all"),
+                "{bad}"
+            );
         }
     }
 
@@ -500,15 +608,23 @@
         for (name, text) in CASES {
             let case = parse(text).unwrap_or_else(|p| panic!("{name}: {p:?}"));
             assert_eq!(case.name, name);
-            assert!(case.steps.iter().any(|s| matches!(s, Step::Claim(..))), "{name} claims nothing");
+            assert!(
+                case.steps.iter().any(|s| matches!(s, Step::Claim(..))),
+                "{name} claims nothing"
+            );
         }
     }
 
     #[test]
     fn a_bandwidth_is_in_bytes_a_second_whatever_its_unit() {
         for (text, is) in [("500B/s", 500.0), ("4kB/s", 4000.0)] {
-            let case = parse(&format!("name: \"x\" step {{ net {{ bandwidth: {text:?} }} }}")).unwrap();
-            let Step::Act(Act::Net { bandwidth, .. }) = case.steps[0] else { panic!("{:?}", case.steps) };
+            let case = parse(&format!(
+                "name: \"x\" step {{ net {{ bandwidth: {text:?} }} }}"
+            ))
+            .unwrap();
+            let Step::Act(Act::Net { bandwidth, .. }) = case.steps[0] else {
+                panic!("{:?}", case.steps)
+            };
             assert!((bandwidth - is).abs() < 1e-6, "{text}: {bandwidth}");
         }
     }
@@ -519,13 +635,20 @@
         for (from, to, said) in [
             ("kill: \"dead\"", "kill: \"deaf\"", "names no fronts"),
             ("state: GONE", "", "has no state"),
-            ("within: \"8s\"", "within: \"8 parsecs\"", "step[3].see.bound.within"),
+            (
+                "within: \"8s\"",
+                "within: \"8 parsecs\"",
+                "step[3].see.bound.within",
+            ),
             ("kill: \"dead\"", "kil: \"dead\"", "kil"),
             ("claim: \"each death is known to all\"", "", "has no claim"),
         ] {
             assert!(good.contains(from), "{from}");
             let problems = parse(&good.replacen(from, to, 1)).unwrap_err();
-            assert!(problems.iter().any(|p| p.what.contains(said) && p.line > 1), "{from}: {problems:?}");
+            assert!(
+                problems.iter().any(|p| p.what.contains(said) && p.line > 1),
+                "{from}: {problems:?}"
+            );
         }
     }
 }
--- a/crates/fleet-net/src/weather.rs
+++ b/crates/fleet-net/src/weather.rs
@@ -46,7 +46,12 @@
     /// time on the way where the case states none.
     pub fn act(&mut self, act: &Act, fleet: usize, usual: (u64, u64)) -> bool {
         match act {
-            Act::Net { loss, doubled, delay, bandwidth } => {
+            Act::Net {
+                loss,
+                doubled,
+                delay,
+                bandwidth,
+            } => {
                 (self.loss, self.doubled, self.bandwidth) = (*loss, *doubled, *bandwidth);
                 self.delay = delay.unwrap_or(usual);
             }
@@ -64,7 +69,8 @@
                 self.lets = Box::new(|_, _| true);
             }
             Act::Flood(fronts, times) => {
-                self.floods.extend(fronts.of(fleet).into_iter().map(|i| (i, *times)));
+                self.floods
+                    .extend(fronts.of(fleet).into_iter().map(|i| (i, *times)));
             }
             _ => return false,
         }
@@ -87,7 +93,9 @@
             if rng.rand_float() < self.loss {
                 continue;
             }
-            let Some(leaves) = self.leaves(now, way, bytes) else { continue };
+            let Some(leaves) = self.leaves(now, way, bytes) else {
+                continue;
+            };
             let copies = 1 + usize::from(self.doubled > 0.0 && rng.rand_float() < self.doubled);
             for _ in 0..copies {
                 let late = (rng.rand_float() * (self.delay.1 - self.delay.0) as f64) as u64;
@@ -118,20 +126,46 @@
     #[test]
     fn a_narrow_way_makes_wait_and_then_loses_and_another_is_free() {
         let mut rng = oorandom::Rand64::new(1);
-        let mut net = Weather { bandwidth: 1000.0, ..Weather::fair((0, 0)) };
-        let arrive: Vec<Vec<u64>> = (0..4).map(|_| net.arrivals(0, (0, 1), 500, &mut rng)).collect();
-        assert_eq!(arrive, [vec![500_000_000], vec![1_000_000_000], vec![1_500_000_000], vec![]]);
+        let mut net = Weather {
+            bandwidth: 1000.0,
+            ..Weather::fair((0, 0))
+        };
+        let arrive: Vec<Vec<u64>> = (0..4)
+            .map(|_| net.arrivals(0, (0, 1), 500, &mut rng))
+            .collect();
+        assert_eq!(
+            arrive,
+            [
+                vec![500_000_000],
+                vec![1_000_000_000],
+                vec![1_500_000_000],
+                vec![]
+            ]
+        );
         assert_eq!(net.arrivals(0, (1, 0), 500, &mut rng), [500_000_000]);
     }
 
     #[test]
     fn parts_are_lost_and_doubled_and_a_flood_comes_many_times() {
         let mut rng = oorandom::Rand64::new(1);
-        let mut net = Weather { loss: 0.3, doubled: 0.5, ..Weather::fair((1, 9)) };
-        let all: Vec<u64> = (0..10_000).flat_map(|_| net.arrivals(0, (0, 1), 1, &mut rng)).collect();
-        assert!((all.len() as f64 / 10_500.0 - 1.0).abs() < 0.05, "{}", all.len());
+        let mut net = Weather {
+            loss: 0.3,
+            doubled: 0.5,
+            ..Weather::fair((1, 9))
+        };
+        let all: Vec<u64> = (0..10_000)
+            .flat_map(|_| net.arrivals(0, (0, 1), 1, &mut rng))
+            .collect();
+        assert!(
+            (all.len() as f64 / 10_500.0 - 1.0).abs() < 0.05,
+            "{}",
+            all.len()
+        );
         assert!(all.iter().all(|at| (1..=9).contains(at)));
-        let mut net = Weather { floods: [(3, 50)].into(), ..Weather::fair((1, 9)) };
+        let mut net = Weather {
+            floods: [(3, 50)].into(),
+            ..Weather::fair((1, 9))
+        };
         assert_eq!(net.arrivals(0, (3, 1), 1, &mut rng).len(), 50);
         assert_eq!(net.arrivals(0, (1, 3), 1, &mut rng).len(), 1);
         net.lets = Box::new(|a, _| a != 3);
--- a/crates/fleet-net/src/world.rs
+++ b/crates/fleet-net/src/world.rs
@@ -56,7 +56,10 @@
 
 /// Whether each of `at` takes each of `of` (but itself) for this.
 pub fn all<W: World + ?Sized>(world: &W, at: &[usize], of: &[usize], state: State) -> bool {
-    at.iter().all(|a| of.iter().all(|o| a == o || world.state(*a, *o) == Some(state)))
+    at.iter().all(|a| {
+        of.iter()
+            .all(|o| a == o || world.state(*a, *o) == Some(state))
+    })
 }
 
 /// Cuts of a net, as they are made and undone.
--- a/crates/front/src/core/ends.rs
+++ b/crates/front/src/core/ends.rs
@@ -15,8 +15,12 @@
         past: Past,
         teardown: Option<&mut Vec<Effect>>,
     ) -> bool {
-        let Some(r) = self.requests.get_mut(&id) else { return false };
-        let (Standing::Playing, Some((attempt, server, _))) = (r.standing, r.out) else { return false };
+        let Some(r) = self.requests.get_mut(&id) else {
+            return false;
+        };
+        let (Standing::Playing, Some((attempt, server, _))) = (r.standing, r.out) else {
+            return false;
+        };
         if let Some(out) = teardown {
             out.push(Effect::TearDown(attempt, server));
         }
@@ -30,23 +34,43 @@
     }
 
     pub(super) fn answer_waiting(&mut self, id: RequestId, answer: Answer, out: &mut Vec<Effect>) {
-        let Some(r) = self.requests.get_mut(&id).filter(|r| r.standing == Standing::Waiting) else { return };
+        let Some(r) = self
+            .requests
+            .get_mut(&id)
+            .filter(|r| r.standing == Standing::Waiting)
+        else {
+            return;
+        };
         debug_assert!(r.out.is_none(), "an answer while an attempt is out");
-        let single = self.settings.classes.get(usize::from(r.ask.class)).map(|c| c.effect)
+        let single = self
+            .settings
+            .classes
+            .get(usize::from(r.ask.class))
+            .map(|c| c.effect)
             == Some(crankpaddle::Effect::SingleShot);
         // The last guard before the player: a refusal says that nothing ran.
         let answer = match answer {
             Answer::Refused(..) if single && r.ran => Answer::Failed(r.failure),
             other => other,
         };
-        let past = if matches!(answer, Answer::Refused(..)) { Past::Refused } else { Past::Failed };
+        let past = if matches!(answer, Answer::Refused(..)) {
+            Past::Refused
+        } else {
+            Past::Failed
+        };
         let call = r.call.take();
         out.extend(call.map(|c| Effect::Answer(c, answer)));
         self.close_waiting(id, past);
     }
 
     pub(super) fn close_waiting(&mut self, id: RequestId, past: Past) {
-        let Some(r) = self.requests.get_mut(&id).filter(|r| r.standing == Standing::Waiting) else { return };
+        let Some(r) = self
+            .requests
+            .get_mut(&id)
+            .filter(|r| r.standing == Standing::Waiting)
+        else {
+            return;
+        };
         r.standing = Standing::Past(past);
         r.call = None;
         let player = r.player.take();
@@ -57,9 +81,17 @@
 
     /// What a key stood for is kept while it matters that it is not set up again, in bounded memory.
     pub(super) fn keep_or_forget(&mut self, id: RequestId) {
-        let Some(r) = self.requests.get(&id) else { return };
-        let Standing::Past(past) = r.standing else { return };
-        let effect = self.settings.classes.get(usize::from(r.ask.class)).map(|c| c.effect);
+        let Some(r) = self.requests.get(&id) else {
+            return;
+        };
+        let Standing::Past(past) = r.standing else {
+            return;
+        };
+        let effect = self
+            .settings
+            .classes
+            .get(usize::from(r.ask.class))
+            .map(|c| c.effect);
         if past != Past::Moved && keys::reopen(r.standing, effect) == Reopen::Afresh {
             return self.forget(id);
         }
@@ -79,7 +111,11 @@
     }
 
     pub(super) fn forget(&mut self, id: RequestId) {
-        if !self.requests.get(&id).is_some_and(|r| matches!(r.standing, Standing::Past(_))) {
+        if !self
+            .requests
+            .get(&id)
+            .is_some_and(|r| matches!(r.standing, Standing::Past(_)))
+        {
             return;
         }
         if let Some(r) = self.requests.remove(&id) {
@@ -93,12 +129,19 @@
     pub(super) fn stop(&mut self, out: &mut Vec<Effect>) {
         self.draining = true;
         for held in self.held.take_all() {
-            let advice = self.overload.advice(spread(held.call.player.0 ^ held.call.number));
-            out.push(Effect::Answer(held.call, self.not_served(&held.open, advice)));
+            let advice = self
+                .overload
+                .advice(spread(held.call.player.0 ^ held.call.number));
+            out.push(Effect::Answer(
+                held.call,
+                self.not_served(&held.open, advice),
+            ));
         }
         let ids: Vec<RequestId> = self.requests.keys().copied().collect();
         for id in ids {
-            let Some(r) = self.requests.get(&id) else { continue };
+            let Some(r) = self.requests.get(&id) else {
+                continue;
+            };
             let (player, call, at) = (r.player, r.call, r.out);
             match (r.standing, at) {
                 (Standing::Waiting, Some((attempt, server, _))) => {
@@ -110,7 +153,13 @@
                 }
                 (Standing::Playing, _) => {
                     let advice = self.overload.advice(spread(id.0));
-                    self.end_playing(id, Outcome::Cancelled, Report::new(), Past::Played, Some(out));
+                    self.end_playing(
+                        id,
+                        Outcome::Cancelled,
+                        Report::new(),
+                        Past::Played,
+                        Some(out),
+                    );
                     let over = Notice::Over(OverReason::Stopping, advice);
                     out.extend(player.map(|p| Effect::Notify(p, id, over)));
                 }
--- a/crates/front/src/core/mod.rs
+++ b/crates/front/src/core/mod.rs
@@ -144,7 +144,12 @@
 impl Core {
     /// A core that has heard nothing. `seed` feeds the module's random choices.
     pub fn new(settings: Settings, terms: Terms, seed: u64, now: Time) -> Core {
-        let aim = settings.classes.iter().map(|c| c.aim).min().unwrap_or(1_000_000_000);
+        let aim = settings
+            .classes
+            .iter()
+            .map(|c| c.aim)
+            .min()
+            .unwrap_or(1_000_000_000);
         let bounds = Bounds {
             open: terms.open,
             open_per_player: terms.open_per_player,
@@ -249,14 +254,24 @@
     pub fn hear(&mut self, now: Time, input: Input, out: &mut Vec<Effect>) {
         self.now = now;
         match input {
-            Input::Open { call, open, received } => self.open(now, call, open, received, None, out),
+            Input::Open {
+                call,
+                open,
+                received,
+            } => self.open(now, call, open, received, None, out),
             Input::Resume { call, tenant, key } => self.resume(call, tenant, key, out),
             Input::Close { call, session } => self.close(call, session, out),
-            Input::Adopt { player, open, server } => self.adopt(now, player, open, server, out),
+            Input::Adopt {
+                player,
+                open,
+                server,
+            } => self.adopt(now, player, open, server, out),
             Input::Leave(player) => self.leave(player, out),
             Input::PlayerGone(player) => self.player_gone(now, player),
             Input::Roster(kind, entries) => self.events.push_back(Event::Roster(kind, entries)),
-            Input::SetUp(attempt, SetUp::Started(report)) => self.started(now, attempt, report, out),
+            Input::SetUp(attempt, SetUp::Started(report)) => {
+                self.started(now, attempt, report, out)
+            }
             Input::SetUp(attempt, SetUp::Ended(outcome, report)) => {
                 self.attempt_ended(attempt, outcome, report)
             }
@@ -268,12 +283,15 @@
                     Leave::Never => self.held_at_home.insert((zone, class)),
                     Leave::Free | Leave::Last => self.held_at_home.remove(&(zone, class)),
                 };
-                self.events.push_back(Event::Crossing { zone, class, leave });
+                self.events
+                    .push_back(Event::Crossing { zone, class, leave });
             }
             Input::Lowered(attempt, lowered) => self.lowered(attempt, lowered),
-            Input::Probed(server, outcome, report) => {
-                self.events.push_back(Event::Probed { server, outcome, report })
-            }
+            Input::Probed(server, outcome, report) => self.events.push_back(Event::Probed {
+                server,
+                outcome,
+                report,
+            }),
             Input::Members(known) => {
                 self.members = known;
                 self.reckon();
@@ -288,8 +306,17 @@
             }
             Input::Serve => self.serve(now, out),
             Input::Unsettled { tenant, key } => self.unsettled(tenant, key),
-            Input::Recovered { tenant, key, class, past } => self.recovered(tenant, key, class, past),
-            Input::Found { token, open, server } => self.found(now, token, open, server, out),
+            Input::Recovered {
+                tenant,
+                key,
+                class,
+                past,
+            } => self.recovered(tenant, key, class, past),
+            Input::Found {
+                token,
+                open,
+                server,
+            } => self.found(now, token, open, server, out),
             Input::Drain => self.draining = true,
             Input::Stop => self.stop(out),
         }
@@ -324,13 +351,22 @@
 
     fn act(&mut self, now: Time, action: Action, out: &mut Vec<Effect>) {
         match action {
-            Action::Attempt { request, server, timeout } => self.attempt(now, request, server, timeout, out),
+            Action::Attempt {
+                request,
+                server,
+                timeout,
+            } => self.attempt(now, request, server, timeout, out),
             Action::Rung { request, rung } => {
-                let Some(r) = self.requests.get_mut(&request) else { return };
+                let Some(r) = self.requests.get_mut(&request) else {
+                    return;
+                };
                 r.rung = rung;
                 if let (Standing::Playing, Some((attempt, server, _))) = (r.standing, r.out) {
                     out.push(Effect::SetRung(attempt, server, rung));
-                    out.extend(r.player.map(|p| Effect::Notify(p, request, Notice::Rung(rung))));
+                    out.extend(
+                        r.player
+                            .map(|p| Effect::Notify(p, request, Notice::Rung(rung))),
+                    );
                 }
             }
             Action::Reject { request, stay_away } => {
@@ -338,16 +374,27 @@
                 if self.stage() == Stage::Paid && class.is_some_and(|class| self.is_paid(class)) {
                     self.returning.turned_away(now.0, stay_away);
                 }
-                let held = class.is_some_and(|class| self.held_at_home.iter().any(|(_, c)| *c == class));
-                let why = if held { Refusal::HeldAtHome } else { Refusal::NoRoom };
+                let held =
+                    class.is_some_and(|class| self.held_at_home.iter().any(|(_, c)| *c == class));
+                let why = if held {
+                    Refusal::HeldAtHome
+                } else {
+                    Refusal::NoRoom
+                };
                 self.answer_waiting(request, Answer::Refused(why, stay_away), out)
             }
             Action::Fail(request) => {
-                let failure = self.requests.get(&request).map_or(Failure::NoAnswer, |r| r.failure);
+                let failure = self
+                    .requests
+                    .get(&request)
+                    .map_or(Failure::NoAnswer, |r| r.failure);
                 self.answer_waiting(request, Answer::Failed(failure), out)
             }
             Action::Cancel { request, attempt } => {
-                let Some(r) = self.requests.get(&request).filter(|r| r.attempts == attempt.wrapping_add(1))
+                let Some(r) = self
+                    .requests
+                    .get(&request)
+                    .filter(|r| r.attempts == attempt.wrapping_add(1))
                 else {
                     return;
                 };
@@ -358,7 +405,13 @@
             }
             Action::Move(request) => {
                 let player = self.requests.get(&request).and_then(|r| r.player);
-                if self.end_playing(request, Outcome::Cancelled, Report::new(), Past::Moved, Some(out)) {
+                if self.end_playing(
+                    request,
+                    Outcome::Cancelled,
+                    Report::new(),
+                    Past::Moved,
+                    Some(out),
+                ) {
                     out.extend(player.map(|p| Effect::Notify(p, request, Notice::Move)));
                 }
             }
@@ -374,29 +427,52 @@
     /// Whether an attempt that is out and was not written yet may still be: asked right before, since its connection may have
     /// taken long to come about. Call after [`Core::decide`], so that all that was heard counts.
     pub fn may_leave(&self, now: Time, attempt: AttemptId) -> bool {
-        let request = self.attempts.get(&attempt).and_then(|id| Some((*id, self.requests.get(id)?)));
+        let request = self
+            .attempts
+            .get(&attempt)
+            .and_then(|id| Some((*id, self.requests.get(id)?)));
         request.is_some_and(|(id, r)| {
             let out = r.out.is_some_and(|(out, _, _)| out == attempt);
-            out && r.standing == Standing::Waiting && now < r.gives_up && self.front.may_leave(now, id)
+            out && r.standing == Standing::Waiting
+                && now < r.gives_up
+                && self.front.may_leave(now, id)
         })
     }
 
-    fn attempt(&mut self, now: Time, id: RequestId, server: ServerId, timeout: u64, out: &mut Vec<Effect>) {
+    fn attempt(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        server: ServerId,
+        timeout: u64,
+        out: &mut Vec<Effect>,
+    ) {
         let (settings, requests) = (&self.settings, &mut self.requests);
         // The last guard before the wire, whatever was decided: one attempt out at a time, none for an answered
         // request, none for a paid one that may have run.
         let may = |r: &Request| {
-            let effect = settings.classes.get(usize::from(r.ask.class)).map(|c| c.effect);
+            let effect = settings
+                .classes
+                .get(usize::from(r.ask.class))
+                .map(|c| c.effect);
             let twice = r.ran && effect == Some(crankpaddle::Effect::SingleShot);
             r.standing == Standing::Waiting && r.out.is_none() && !twice && now < r.ask.deadline
         };
         let known = requests.get(&id);
-        let (number, closed) = known.map_or((0, true), |r| (r.attempts, r.standing != Standing::Waiting));
+        let (number, closed) =
+            known.map_or((0, true), |r| (r.attempts, r.standing != Standing::Waiting));
         let Some(r) = requests.get_mut(&id).filter(|r| may(r)) else {
             // Also where its viewer left between what was heard and what is decided on it: the module must not go on
             // counting a set-up that never went out.
             let (request, attempt, outcome, report) = (id, number, Outcome::Moot, Report::new());
-            self.events.push_back(Event::Ended { request, attempt, server, outcome, closed, report });
+            self.events.push_back(Event::Ended {
+                request,
+                attempt,
+                server,
+                outcome,
+                closed,
+                report,
+            });
             return;
         };
         self.last_attempt += 1;
@@ -405,14 +481,32 @@
         r.out = Some((attempt, server, now));
         r.kept_back = false;
         if timeout > 0 {
-            self.timers.set(Time(now.0.saturating_add(timeout)), Due::Attempt(attempt));
+            self.timers
+                .set(Time(now.0.saturating_add(timeout)), Due::Attempt(attempt));
         }
         self.attempts.insert(attempt, id);
         let key = r.key.clone();
-        let order = Order { key, class: r.ask.class, tenant: r.ask.tenant, title: r.ask.title, rung: r.rung };
-        let allowed = if timeout > 0 { now.0.saturating_add(timeout) } else { u64::MAX };
+        let order = Order {
+            key,
+            class: r.ask.class,
+            tenant: r.ask.tenant,
+            title: r.ask.title,
+            rung: r.rung,
+        };
+        let allowed = if timeout > 0 {
+            now.0.saturating_add(timeout)
+        } else {
+            u64::MAX
+        };
         let until = Time(r.ask.deadline.0.min(allowed));
-        out.push(Effect::SetUp { attempt, request: id, number, server, order, until });
+        out.push(Effect::SetUp {
+            attempt,
+            request: id,
+            number,
+            server,
+            order,
+            until,
+        });
     }
 }
 
--- a/crates/front/src/core/players.rs
+++ b/crates/front/src/core/players.rs
@@ -20,14 +20,20 @@
             out.extend(answer.map(|answer| Effect::Answer(call, answer)));
             return;
         }
-        let effect = self.settings.classes.get(usize::from(open.class)).map(|c| c.effect);
+        let effect = self
+            .settings
+            .classes
+            .get(usize::from(open.class))
+            .map(|c| c.effect);
         let named = (open.tenant, open.key.clone());
         let known = self.keys.get(&named).copied();
         let (mut again, mut moved) = (open.again, open.moved);
         if let Some((id, r)) = known.and_then(|id| Some((id, self.requests.get(&id)?))) {
             match keys::reopen(r.standing, effect) {
                 Reopen::Join | Reopen::TakeUp => return self.take_up(call, id, out),
-                Reopen::FailedBefore => return out.push(Effect::Answer(call, Answer::Failed(r.failure))),
+                Reopen::FailedBefore => {
+                    return out.push(Effect::Answer(call, Answer::Failed(r.failure)))
+                }
                 Reopen::Spent => {
                     // Danger: a refusal says that nothing ran, and this ran. A player whose server was lost while
                     // it reconnected would be told that it may ask again for what it has paid.
@@ -41,7 +47,10 @@
         let dice = spread(self.last_request ^ call.player.0.rotate_left(32) ^ call.number);
         if self.draining {
             let advice = self.overload.advice(dice);
-            return out.push(Effect::Answer(call, Answer::Refused(Refusal::Stopping, advice)));
+            return out.push(Effect::Answer(
+                call,
+                Answer::Refused(Refusal::Stopping, advice),
+            ));
         }
         let of_player = self.players.get(&call.player).map_or(0, |p| p.waiting);
         // Danger: who was held until service returned did not wait because this front is slow.
@@ -58,7 +67,11 @@
         self.last_request += 1;
         let id = RequestId(self.last_request);
         let (gives_up, deadline) = self.patience(&open, received);
-        let ask = Ask { again, moved, ..open.ask(id, deadline) };
+        let ask = Ask {
+            again,
+            moved,
+            ..open.ask(id, deadline)
+        };
         self.keys.insert(named.clone(), id);
         let request = Request::new(ask.clone(), named.1, Some(call), gives_up);
         self.requests.insert(id, request);
@@ -71,7 +84,12 @@
 
     /// When a viewer gives up, and when it must be answered. Its clock runs from when its message came, not from when it is looked at.
     pub(super) fn patience(&self, open: &Open, received: Time) -> (Time, Time) {
-        let bound = self.terms.give_up.get(usize::from(open.class)).copied().unwrap_or(0);
+        let bound = self
+            .terms
+            .give_up
+            .get(usize::from(open.class))
+            .copied()
+            .unwrap_or(0);
         let patience = open.give_up.min(bound);
         let gives_up = Time(received.0.saturating_add(patience));
         let margin = self.terms.answer_margin.min(patience / 2);
@@ -80,7 +98,9 @@
 
     /// Another connection, or the same again, wants what this request gives.
     pub(super) fn take_up(&mut self, call: Call, id: RequestId, out: &mut Vec<Effect>) {
-        let Some(r) = self.requests.get_mut(&id) else { return };
+        let Some(r) = self.requests.get_mut(&id) else {
+            return;
+        };
         let before = r.player;
         match (r.standing, r.out) {
             (Standing::Waiting, _) => {
@@ -89,8 +109,17 @@
             }
             (Standing::Playing, Some((attempt, server, _))) => {
                 let taken = Notice::Over(OverReason::TakenOver, 0);
-                out.extend(before.filter(|p| *p != call.player).map(|p| Effect::Notify(p, id, taken)));
-                let plays = Answer::Plays { session: id, attempt, server, rung: r.rung };
+                out.extend(
+                    before
+                        .filter(|p| *p != call.player)
+                        .map(|p| Effect::Notify(p, id, taken)),
+                );
+                let plays = Answer::Plays {
+                    session: id,
+                    attempt,
+                    server,
+                    rung: r.rung,
+                };
                 out.push(Effect::Answer(call, plays));
             }
             _ => return out.push(Effect::Answer(call, Answer::Unknown)),
@@ -105,15 +134,28 @@
         };
         match r.standing {
             Standing::Waiting | Standing::Playing => self.take_up(call, id, out),
-            Standing::Past(Past::Failed) => out.push(Effect::Answer(call, Answer::Failed(r.failure))),
+            Standing::Past(Past::Failed) => {
+                out.push(Effect::Answer(call, Answer::Failed(r.failure)))
+            }
             Standing::Past(_) => out.push(Effect::Answer(call, Answer::Unknown)),
         }
     }
 
     pub(super) fn close(&mut self, call: Call, session: RequestId, out: &mut Vec<Effect>) {
-        let own = self.requests.get(&session).is_some_and(|r| r.player == Some(call.player));
-        let closed = own && self.end_playing(session, Outcome::Ok, Report::new(), Past::Played, Some(out));
-        out.push(Effect::Answer(call, if closed { Answer::Closed } else { Answer::Unknown }));
+        let own = self
+            .requests
+            .get(&session)
+            .is_some_and(|r| r.player == Some(call.player));
+        let closed =
+            own && self.end_playing(session, Outcome::Ok, Report::new(), Past::Played, Some(out));
+        out.push(Effect::Answer(
+            call,
+            if closed {
+                Answer::Closed
+            } else {
+                Answer::Unknown
+            },
+        ));
     }
 
     /// A session that plays already is held from now on.
@@ -127,7 +169,11 @@
     ) {
         if let Some((id, attempt)) = self.plays_already(now, open, server) {
             self.attach(id, player);
-            out.push(Effect::Holds { player, attempt, server });
+            out.push(Effect::Holds {
+                player,
+                attempt,
+                server,
+            });
         }
     }
 
@@ -150,7 +196,11 @@
         let ask = open.ask(id, gives_up);
         let mut request = Request::new(ask.clone(), open.key, None, gives_up);
         request.standing = Standing::Playing;
-        request.rung = self.settings.classes.get(usize::from(ask.class)).map_or(0, |c| c.floor);
+        request.rung = self
+            .settings
+            .classes
+            .get(usize::from(ask.class))
+            .map_or(0, |c| c.floor);
         (request.attempts, request.out, request.ran) = (1, Some((attempt, server, now)), true);
         self.keys.insert(named, id);
         self.requests.insert(id, request);
@@ -163,15 +213,23 @@
     /// A player wants nothing any more of what it has here.
     pub(super) fn leave(&mut self, player: PlayerId, out: &mut Vec<Effect>) {
         self.held.drop_of(player);
-        let ids = self.players.get(&player).map(|p| p.requests.clone()).unwrap_or_default();
+        let ids = self
+            .players
+            .get(&player)
+            .map(|p| p.requests.clone())
+            .unwrap_or_default();
         ids.into_iter().for_each(|id| self.left(id, out));
     }
 
     pub(super) fn player_gone(&mut self, now: Time, player: PlayerId) {
         self.held.drop_of(player);
-        let Some(gone) = self.players.remove(&player) else { return };
+        let Some(gone) = self.players.remove(&player) else {
+            return;
+        };
         for id in gone.requests {
-            let Some(r) = self.requests.get_mut(&id) else { continue };
+            let Some(r) = self.requests.get_mut(&id) else {
+                continue;
+            };
             (r.player, r.call, r.away) = (None, None, r.away + 1);
             let until = Time(now.0.saturating_add(self.terms.resume));
             self.timers.set(until, Due::Away(id, r.away));
@@ -180,14 +238,20 @@
 
     /// A player did not come back for its session.
     pub(super) fn stayed_away(&mut self, id: RequestId, loss: u32, out: &mut Vec<Effect>) {
-        if self.requests.get(&id).is_some_and(|r| r.player.is_none() && r.away == loss) {
+        if self
+            .requests
+            .get(&id)
+            .is_some_and(|r| r.player.is_none() && r.away == loss)
+        {
             self.left(id, out);
         }
     }
 
     /// The viewer of this request is no more: what waits is withdrawn, what plays is ended.
     pub(super) fn left(&mut self, id: RequestId, out: &mut Vec<Effect>) {
-        let Some(r) = self.requests.get_mut(&id) else { return };
+        let Some(r) = self.requests.get_mut(&id) else {
+            return;
+        };
         match (r.standing, r.out) {
             (Standing::Waiting, Some((attempt, server, _))) => {
                 out.push(Effect::Abandon(attempt, server));
@@ -201,14 +265,22 @@
                 self.close_waiting(id, Past::Failed);
             }
             (Standing::Playing, _) => {
-                self.end_playing(id, Outcome::Cancelled, Report::new(), Past::Played, Some(out));
+                self.end_playing(
+                    id,
+                    Outcome::Cancelled,
+                    Report::new(),
+                    Past::Played,
+                    Some(out),
+                );
             }
             (Standing::Past(_), _) => {}
         }
     }
 
     pub(super) fn attach(&mut self, id: RequestId, player: PlayerId) {
-        let Some(r) = self.requests.get_mut(&id) else { return };
+        let Some(r) = self.requests.get_mut(&id) else {
+            return;
+        };
         let (before, waits) = (r.player.replace(player), r.standing == Standing::Waiting);
         if before == Some(player) {
             return;
@@ -220,7 +292,9 @@
     }
 
     pub(super) fn detach(&mut self, id: RequestId, player: Option<PlayerId>, waits: bool) {
-        let Some((player, p)) = player.and_then(|p| Some((p, self.players.get_mut(&p)?))) else { return };
+        let Some((player, p)) = player.and_then(|p| Some((p, self.players.get_mut(&p)?))) else {
+            return;
+        };
         p.requests.remove(&id);
         p.waiting = p.waiting.saturating_sub(usize::from(waits));
         if p.requests.is_empty() {
--- a/crates/front/src/core/returns.rs
+++ b/crates/front/src/core/returns.rs
@@ -15,7 +15,10 @@
         (self.steps_told, self.sound, self.fleet) = (returning.steps().len(), sound, fleet);
         self.returning = returning;
         self.reckon();
-        self.returning.next().into_iter().for_each(|at| self.timers.set(Time(at), Due::Stage));
+        self.returning
+            .next()
+            .into_iter()
+            .for_each(|at| self.timers.set(Time(at), Due::Stage));
     }
 
     /// How far service is back.
@@ -34,7 +37,11 @@
     }
 
     pub(super) fn is_paid(&self, class: u8) -> bool {
-        self.settings.classes.get(usize::from(class)).map(|c| c.effect) == Some(Kind::SingleShot)
+        self.settings
+            .classes
+            .get(usize::from(class))
+            .map(|c| c.effect)
+            == Some(Kind::SingleShot)
     }
 
     /// Danger: a fleet that grew beyond its configuration takes more than the whole of each limit that is cut into parts, the pace at
@@ -44,7 +51,11 @@
     /// try less.
     pub(super) fn reckon(&mut self) {
         let heard = self.members.max(self.settings.siblings);
-        let siblings = if self.stage() < Stage::Normal { self.fleet.at_least(heard) } else { heard };
+        let siblings = if self.stage() < Stage::Normal {
+            self.fleet.at_least(heard)
+        } else {
+            heard
+        };
         if siblings != self.siblings {
             self.siblings = siblings;
             self.events.push_back(Event::Siblings(siblings));
@@ -54,9 +65,16 @@
     /// Takes the steps of returning service that are due.
     pub(super) fn step(&mut self, now: Time, out: &mut Vec<Effect>) {
         self.returning.expire(now.0);
-        self.returning.next().into_iter().for_each(|at| self.timers.set(Time(at), Due::Stage));
+        self.returning
+            .next()
+            .into_iter()
+            .for_each(|at| self.timers.set(Time(at), Due::Stage));
         let taken = &self.returning.steps()[self.steps_told..];
-        out.extend(taken.iter().map(|(_, stage, why)| Effect::Stage(*stage, *why)));
+        out.extend(
+            taken
+                .iter()
+                .map(|(_, stage, why)| Effect::Stage(*stage, *why)),
+        );
         self.steps_told = self.returning.steps().len();
         self.reckon();
     }
@@ -64,7 +82,9 @@
     /// All that is known of servers was told: who was held is served.
     pub(super) fn serve(&mut self, now: Time, out: &mut Vec<Effect>) {
         if self.stage() >= Stage::Paid {
-            self.held.take_all().for_each(|h| self.open(now, h.call, h.open, h.received, Some(now), out));
+            self.held
+                .take_all()
+                .for_each(|h| self.open(now, h.call, h.open, h.received, Some(now), out));
         }
     }
 
@@ -91,21 +111,32 @@
                     return None; // What plays is taken up, what ran is said to have run.
                 }
                 let dice = spread(call.player.0.rotate_left(32) ^ call.number);
-                let advice =
-                    after.saturating_add((over as f64 * dice) as u64).min(self.settings.stay_away_cap);
+                let advice = after
+                    .saturating_add((over as f64 * dice) as u64)
+                    .min(self.settings.stay_away_cap);
                 Some(Some(self.not_served(open, advice)))
             }
         }
     }
 
     fn hold(&mut self, now: Time, call: Call, open: &Open, received: Time) -> Option<Answer> {
-        let of_player = self.held.of(call.player) + self.players.get(&call.player).map_or(0, |p| p.waiting);
-        if self.overload.judge(now, now, self.waiting + self.held.len(), of_player) == Load::TooManyOpen {
+        let of_player =
+            self.held.of(call.player) + self.players.get(&call.player).map_or(0, |p| p.waiting);
+        if self
+            .overload
+            .judge(now, now, self.waiting + self.held.len(), of_player)
+            == Load::TooManyOpen
+        {
             let advice = self.overload.advice(spread(call.number));
             return Some(Answer::Refused(Refusal::TooManyOpen, advice));
         }
         let (_, deadline) = self.patience(open, received);
-        self.held.push(Held { call, open: open.clone(), received, deadline });
+        self.held.push(Held {
+            call,
+            open: open.clone(),
+            received,
+            deadline,
+        });
         self.timers.set(deadline, Due::Held);
         None
     }
@@ -124,8 +155,13 @@
     /// Answers who can't wait any longer.
     pub(super) fn held_too_long(&mut self, now: Time, out: &mut Vec<Effect>) {
         for held in self.held.take_due(now) {
-            let advice = self.overload.advice(spread(held.call.player.0 ^ held.call.number));
-            out.push(Effect::Answer(held.call, self.not_served(&held.open, advice)));
+            let advice = self
+                .overload
+                .advice(spread(held.call.player.0 ^ held.call.number));
+            out.push(Effect::Answer(
+                held.call,
+                self.not_served(&held.open, advice),
+            ));
         }
     }
 
@@ -149,7 +185,12 @@
         }
         self.last_request += 1;
         let id = RequestId(self.last_request);
-        let ask = Ask { request: id, tenant, class, ..Ask::default() };
+        let ask = Ask {
+            request: id,
+            tenant,
+            class,
+            ..Ask::default()
+        };
         let mut request = Request::new(ask, named.1.clone(), None, self.now);
         (request.standing, request.ran) = (Standing::Past(past), true);
         self.requests.insert(id, request);
@@ -169,9 +210,20 @@
         let named = (open.tenant, open.key.clone());
         self.unsettled.remove(&named);
         let Some((id, attempt)) = self.plays_already(now, open, server) else {
-            return out.push(Effect::Found { token, attempt: None, server });
+            return out.push(Effect::Found {
+                token,
+                attempt: None,
+                server,
+            });
         };
-        self.timers.set(Time(now.0.saturating_add(self.terms.back)), Due::Away(id, 0));
-        out.push(Effect::Found { token, attempt: Some(attempt), server });
+        self.timers.set(
+            Time(now.0.saturating_add(self.terms.back)),
+            Due::Away(id, 0),
+        );
+        out.push(Effect::Found {
+            token,
+            attempt: Some(attempt),
+            server,
+        });
     }
 }
--- a/crates/front/src/held.rs
+++ b/crates/front/src/held.rs
@@ -35,7 +35,9 @@
     }
 
     pub fn take_due(&mut self, now: Time) -> Vec<Held> {
-        let (due, rest) = std::mem::take(&mut self.0).into_iter().partition(|h| h.deadline <= now);
+        let (due, rest) = std::mem::take(&mut self.0)
+            .into_iter()
+            .partition(|h| h.deadline <= now);
         self.0 = rest;
         Vec::from(due as VecDeque<Held>)
     }
--- a/crates/front/src/keys.rs
+++ b/crates/front/src/keys.rs
@@ -64,7 +64,10 @@
 
 /// Whether an outcome proves that the attempt never ran.
 pub fn never_ran(outcome: Outcome) -> bool {
-    matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+    matches!(
+        outcome,
+        Outcome::Full | Outcome::ConnectFailed | Outcome::Moot
+    )
 }
 
 #[cfg(test)]
@@ -73,9 +76,12 @@
 
     #[test]
     fn a_paid_key_never_leads_to_a_second_set_up_once_one_may_have_run() {
-        for standing in
-            [Standing::Waiting, Standing::Playing, Standing::Past(Past::Failed), Standing::Past(Past::Played)]
-        {
+        for standing in [
+            Standing::Waiting,
+            Standing::Playing,
+            Standing::Past(Past::Failed),
+            Standing::Past(Past::Played),
+        ] {
             for effect in [None, Some(Effect::SingleShot)] {
                 let what = reopen(standing, effect);
                 assert!(
@@ -84,13 +90,19 @@
                 );
             }
         }
-        assert_eq!(reopen(Standing::Past(Past::Refused), Some(Effect::SingleShot)), Reopen::Afresh);
+        assert_eq!(
+            reopen(Standing::Past(Past::Refused), Some(Effect::SingleShot)),
+            Reopen::Afresh
+        );
     }
 
     #[test]
     fn a_free_key_starts_afresh_when_its_session_is_no_more() {
         for past in [Past::Refused, Past::Failed, Past::Played] {
-            assert_eq!(reopen(Standing::Past(past), Some(Effect::Free)), Reopen::Afresh);
+            assert_eq!(
+                reopen(Standing::Past(past), Some(Effect::Free)),
+                Reopen::Afresh
+            );
         }
         assert_eq!(reopen(Standing::Waiting, Some(Effect::Free)), Reopen::Join);
     }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -25,7 +25,8 @@
 
 pub use crate::core::{spread, Core, Tap, Terms};
 pub use crankpaddle::{
-    Event, Leave, Listing, Note, Outcome, Phase, Report, RequestId, RosterKind, ServerId, Settings, Time,
+    Event, Leave, Listing, Note, Outcome, Phase, Report, RequestId, RosterKind, ServerId, Settings,
+    Time,
 };
 pub use crankpaddle_recovery::{Careful, Ended, Evidence, Returning, Stage};
 pub use messages::*;
--- a/crates/front/src/overload.rs
+++ b/crates/front/src/overload.rs
@@ -52,7 +52,12 @@
 impl Overload {
     /// Nothing seen yet.
     pub fn new(bounds: Bounds) -> Overload {
-        Overload { bounds, least: u64::MAX, ends: Time(0), over: 0 }
+        Overload {
+            bounds,
+            least: u64::MAX,
+            ends: Time(0),
+            over: 0,
+        }
     }
 
     fn target(&self) -> u64 {
@@ -68,7 +73,11 @@
         } else if now >= self.ends {
             // The first message after a pause opens an interval; it alone says nothing about a standing queue.
             let full = self.ends != Time(0) && now.0 - self.ends.0 < INTERVAL;
-            self.over = if full && self.least > self.target() { self.over + 1 } else { self.over };
+            self.over = if full && self.least > self.target() {
+                self.over + 1
+            } else {
+                self.over
+            };
         }
         if now >= self.ends {
             (self.least, self.ends) = (waited, Time(now.0.saturating_add(INTERVAL)));
@@ -96,13 +105,23 @@
     const MS: u64 = 1_000_000;
 
     fn overload() -> Overload {
-        Overload::new(Bounds { open: 10, open_per_player: 3, aim: 800 * MS, stay_away: SECOND })
+        Overload::new(Bounds {
+            open: 10,
+            open_per_player: 3,
+            aim: 800 * MS,
+            stay_away: SECOND,
+        })
     }
 
     /// Feeds a message a millisecond with the given wait; says how many were taken.
     fn feed(o: &mut Overload, from: u64, count: u64, wait: u64) -> usize {
         let verdict = |i: u64| {
-            o.judge(Time(from + i * MS), Time((from + i * MS).saturating_sub(wait)), 0, 0) == Verdict::Take
+            o.judge(
+                Time(from + i * MS),
+                Time((from + i * MS).saturating_sub(wait)),
+                0,
+                0,
+            ) == Verdict::Take
         };
         (0..count).map(verdict).filter(|t| *t).count()
     }
@@ -110,11 +129,22 @@
     #[test]
     fn a_burst_that_drains_is_taken_and_a_standing_queue_is_refused() {
         let mut o = overload();
-        assert_eq!(feed(&mut o, SECOND, 80, 60 * MS), 80, "a burst shorter than the interval");
+        assert_eq!(
+            feed(&mut o, SECOND, 80, 60 * MS),
+            80,
+            "a burst shorter than the interval"
+        );
         assert_eq!(feed(&mut o, SECOND + 80 * MS, 1, MS), 1);
         let taken = feed(&mut o, 2 * SECOND, 1000, 60 * MS);
-        assert!((100..300).contains(&taken), "refuses after two intervals of standing queue: {taken}");
-        assert_eq!(feed(&mut o, 3 * SECOND, 50, MS), 50, "one quick passage ends it");
+        assert!(
+            (100..300).contains(&taken),
+            "refuses after two intervals of standing queue: {taken}"
+        );
+        assert_eq!(
+            feed(&mut o, 3 * SECOND, 50, MS),
+            50,
+            "one quick passage ends it"
+        );
     }
 
     #[test]
