--- a/crates/front/tests/drive.rs
+++ b/crates/front/tests/drive.rs
@@ -27,7 +27,13 @@
 
 fn rig() -> Rig {
     let now = Time(1000 * SECOND);
-    let mut rig = Rig { core: Core::new(settings(), terms(), 7, now), now, out: vec![], calls: 0, lag: None };
+    let mut rig = Rig {
+        core: Core::new(settings(), terms(), 7, now),
+        now,
+        out: vec![],
+        calls: 0,
+        lag: None,
+    };
     let listing = |n: u32| Listing {
         server: ServerId(n),
         zone: 0,
@@ -37,7 +43,10 @@
         weight: 1.0,
         since: Time(0),
     };
-    rig.tell(Input::Roster(RosterKind::Full, (0..6).map(listing).collect()));
+    rig.tell(Input::Roster(
+        RosterKind::Full,
+        (0..6).map(listing).collect(),
+    ));
     rig
 }
 
@@ -65,7 +74,10 @@
 
     fn call(&mut self, player: u64) -> Call {
         self.calls += 1;
-        Call { player: PlayerId(player), number: self.calls }
+        Call {
+            player: PlayerId(player),
+            number: self.calls,
+        }
     }
 
     fn open(&mut self, player: u64, key: &str, class: u8) -> (Call, Vec<Effect>) {
@@ -80,7 +92,14 @@
             ..Open::default()
         };
         let received = self.now;
-        (call, self.tell(Input::Open { call, open, received }))
+        (
+            call,
+            self.tell(Input::Open {
+                call,
+                open,
+                received,
+            }),
+        )
     }
 
     /// Goes on in time, expiring step by step.
@@ -98,7 +117,9 @@
 
 fn set_up(effects: &[Effect]) -> Option<(AttemptId, ServerId)> {
     effects.iter().find_map(|e| match e {
-        Effect::SetUp { attempt, server, .. } => Some((*attempt, *server)),
+        Effect::SetUp {
+            attempt, server, ..
+        } => Some((*attempt, *server)),
         _ => None,
     })
 }
@@ -119,11 +140,19 @@
     assert!(answers(&rig.pass(3 * SECOND)).is_empty());
     let late = rig.pass(950 * MS); // 3.95 s of the 4 s that the class waits.
     assert_eq!(answers(&late), [(call, Answer::Failed(Failure::NoAnswer))]);
-    assert!(late.contains(&Effect::Abandon(attempt, server)), "the server must drop what it may have set up");
+    assert!(
+        late.contains(&Effect::Abandon(attempt, server)),
+        "the server must drop what it may have set up"
+    );
     // What comes after changes nothing, and the key does not buy again.
-    assert!(rig.tell(Input::SetUp(attempt, SetUp::Started(vec![]))).is_empty());
+    assert!(rig
+        .tell(Input::SetUp(attempt, SetUp::Started(vec![])))
+        .is_empty());
     let (again, effects) = rig.open(1, "a", PAID);
-    assert_eq!(answers(&effects), [(again, Answer::Failed(Failure::NoAnswer))]);
+    assert_eq!(
+        answers(&effects),
+        [(again, Answer::Failed(Failure::NoAnswer))]
+    );
     assert!(set_up(&effects).is_none());
 }
 
@@ -132,7 +161,10 @@
     let mut rig = rig();
     let (call, effects) = rig.open(1, "a", PAID);
     let (first, at) = set_up(&effects).unwrap();
-    let next = rig.tell(Input::SetUp(first, SetUp::Ended(Outcome::ConnectFailed, vec![])));
+    let next = rig.tell(Input::SetUp(
+        first,
+        SetUp::Ended(Outcome::ConnectFailed, vec![]),
+    ));
     let (second, other) = set_up(&next).expect("sent again");
     assert!(answers(&next).is_empty() && other != at);
     let end = rig.tell(Input::SetUp(second, SetUp::Ended(Outcome::Reset, vec![])));
@@ -154,7 +186,10 @@
     assert!(matches!(answer[0].1, Answer::Plays { server: s, .. } if s == server));
     assert_ne!(first, second);
     // The lost connection's time passes and harms nobody.
-    assert!(!rig.pass(10 * SECOND).iter().any(|e| matches!(e, Effect::TearDown(..))));
+    assert!(!rig
+        .pass(10 * SECOND)
+        .iter()
+        .any(|e| matches!(e, Effect::TearDown(..))));
     assert_eq!(rig.core.playing(), 1);
 }
 
@@ -170,12 +205,23 @@
     // A third takes the playing session; the second is told.
     let (third, effects) = rig.open(3, "a", PAID);
     assert!(matches!(answers(&effects)[..], [(c, Answer::Plays { .. })] if c == third));
-    let told =
-        |e: &Effect| matches!(e, Effect::Notify(PlayerId(2), _, Notice::Over(OverReason::TakenOver, _)));
+    let told = |e: &Effect| {
+        matches!(
+            e,
+            Effect::Notify(PlayerId(2), _, Notice::Over(OverReason::TakenOver, _))
+        )
+    };
     assert!(effects.iter().any(told));
     let call = rig.call(2);
-    let closed = rig.tell(Input::Close { call, session: RequestId(1) });
-    assert_eq!(answers(&closed), [(call, Answer::Unknown)], "it is not the second's any more");
+    let closed = rig.tell(Input::Close {
+        call,
+        session: RequestId(1),
+    });
+    assert_eq!(
+        answers(&closed),
+        [(call, Answer::Unknown)],
+        "it is not the second's any more"
+    );
 }
 
 #[test]
@@ -201,7 +247,10 @@
     let told = |e: &Effect| matches!(e, Effect::Notify(PlayerId(1), _, Notice::Over(OverReason::ServerLost, ns)) if *ns > 0);
     assert!(effects.iter().any(told));
     let (call, effects) = rig.open(1, "a", PAID);
-    assert_eq!(answers(&effects), [(call, Answer::Failed(Failure::KeySpent))]);
+    assert_eq!(
+        answers(&effects),
+        [(call, Answer::Failed(Failure::KeySpent))]
+    );
     let (_, effects) = rig.open(1, "b", PAID);
     assert!(set_up(&effects).is_some());
 }
@@ -214,7 +263,10 @@
     // The front stood still for 5 s: the answer lies there, the timer has not been looked at.
     rig.now = Time(rig.now.0 + 5 * SECOND);
     let effects = rig.tell(Input::SetUp(attempt, SetUp::Started(vec![])));
-    assert_eq!(answers(&effects), [(call, Answer::Failed(Failure::NoAnswer))]);
+    assert_eq!(
+        answers(&effects),
+        [(call, Answer::Failed(Failure::NoAnswer))]
+    );
     assert!(effects.contains(&Effect::Abandon(attempt, server)));
 }
 
@@ -233,11 +285,28 @@
     let (b, at) = set_up(&effects).unwrap();
     let before = asked.load(std::sync::atomic::Ordering::Relaxed);
     let answered = answers(&rig.hear(Input::SetUp(a, SetUp::Started(vec![]))));
-    assert!(matches!(answered[..], [(c, Answer::Plays { .. })] if c == first), "{answered:?}");
+    assert!(
+        matches!(answered[..], [(c, Answer::Plays { .. })] if c == first),
+        "{answered:?}"
+    );
     let over = rig.hear(Input::Over(a, Outcome::Ok, vec![]));
-    assert!(matches!(over[..], [Effect::Notify(PlayerId(1), _, Notice::Over(OverReason::Finished, _))]));
-    assert_eq!(rig.hear(Input::Leave(PlayerId(2))), [Effect::Abandon(b, at)]);
-    assert_eq!(asked.load(std::sync::atomic::Ordering::Relaxed), before, "the module was asked first");
+    assert!(matches!(
+        over[..],
+        [Effect::Notify(
+            PlayerId(1),
+            _,
+            Notice::Over(OverReason::Finished, _)
+        )]
+    ));
+    assert_eq!(
+        rig.hear(Input::Leave(PlayerId(2))),
+        [Effect::Abandon(b, at)]
+    );
+    assert_eq!(
+        asked.load(std::sync::atomic::Ordering::Relaxed),
+        before,
+        "the module was asked first"
+    );
     assert!(rig.decide().is_empty());
     assert!(asked.load(std::sync::atomic::Ordering::Relaxed) > before);
     assert_eq!((rig.core.waiting(), rig.core.playing()), (0, 0));
@@ -250,15 +319,21 @@
     let (_, effects) = rig.open(1, "a", FREE);
     let (attempt, _) = set_up(&effects).unwrap();
     let (told, events) = std::sync::mpsc::channel();
-    rig.core.set_tap(Box::new(move |_, event| drop(told.send(format!("{event:?}")))));
-    assert!(rig.hear(Input::SetUp(attempt, SetUp::Ended(Outcome::Full, vec![]))).is_empty());
+    rig.core.set_tap(Box::new(move |_, event| {
+        drop(told.send(format!("{event:?}")))
+    }));
+    assert!(rig
+        .hear(Input::SetUp(attempt, SetUp::Ended(Outcome::Full, vec![])))
+        .is_empty());
     assert!(rig.hear(Input::Leave(PlayerId(1))).is_empty());
     assert!(rig.decide().is_empty());
     assert_eq!(rig.core.waiting(), 0);
     // What the module would have sent is told back to it as never sent, or it would count it for ever.
     let events: Vec<String> = events.try_iter().collect();
     assert!(
-        events.iter().any(|e| e.starts_with("Ended") && e.contains("Moot") && e.contains("closed: true")),
+        events
+            .iter()
+            .any(|e| e.starts_with("Ended") && e.contains("Moot") && e.contains("closed: true")),
         "{events:?}"
     );
     // The same when the front stops in between.
@@ -266,7 +341,10 @@
     let (attempt, _) = set_up(&effects).unwrap();
     rig.hear(Input::SetUp(attempt, SetUp::Ended(Outcome::Full, vec![])));
     let stopped = answers(&rig.hear(Input::Stop));
-    assert!(matches!(stopped[..], [(c, Answer::Refused(Refusal::Stopping, _))] if c == call), "{stopped:?}");
+    assert!(
+        matches!(stopped[..], [(c, Answer::Refused(Refusal::Stopping, _))] if c == call),
+        "{stopped:?}"
+    );
     assert!(rig.decide().is_empty());
 }
 
@@ -295,7 +373,10 @@
     assert!(
         matches!(answers(&effects)[..], [(c, Answer::Refused(Refusal::Stopping, ns))] if c == call && ns > 0)
     );
-    assert_eq!(answers(&rig.tell(Input::SetUp(attempt, SetUp::Started(vec![])))).len(), 1);
+    assert_eq!(
+        answers(&rig.tell(Input::SetUp(attempt, SetUp::Started(vec![])))).len(),
+        1
+    );
     let effects = rig.tell(Input::Stop);
     assert!(effects.contains(&Effect::TearDown(attempt, server)));
     assert_eq!((rig.core.waiting(), rig.core.playing()), (0, 0));
@@ -306,7 +387,9 @@
     let mut rig = rig();
     let (call, effects) = rig.open(1, "a", FREE);
     let (attempt, _) = set_up(&effects).unwrap();
-    assert!(rig.tell(Input::Over(attempt, Outcome::Reset, vec![])).is_empty());
+    assert!(rig
+        .tell(Input::Over(attempt, Outcome::Reset, vec![]))
+        .is_empty());
     let effects = rig.tell(Input::SetUp(attempt, SetUp::Started(vec![])));
     assert_eq!(
         effects,
@@ -327,27 +410,54 @@
         let (_, effects) = rig.open(1, &format!("b{n}"), FREE);
         let (attempt, server) = set_up(&effects).expect("another server has room");
         assert_ne!(server, full, "its link is known to be overrun");
-        rig.tell(Input::SetUp(attempt, SetUp::Ended(Outcome::Full, Report::new())));
+        rig.tell(Input::SetUp(
+            attempt,
+            SetUp::Ended(Outcome::Full, Report::new()),
+        ));
     }
 }
 
 #[test]
 fn an_adopted_session_is_held_once_and_leaves_with_its_viewer() {
     let mut rig = rig();
-    let open = Open { key: "held".into(), class: PAID, title: 1, copies: 3, top: 2, ..Open::default() };
-    let adopt = |player| Input::Adopt { player: PlayerId(player), open: open.clone(), server: ServerId(2) };
+    let open = Open {
+        key: "held".into(),
+        class: PAID,
+        title: 1,
+        copies: 3,
+        top: 2,
+        ..Open::default()
+    };
+    let adopt = |player| Input::Adopt {
+        player: PlayerId(player),
+        open: open.clone(),
+        server: ServerId(2),
+    };
     let effects = rig.tell(adopt(50));
     let held = effects.iter().find_map(|e| match e {
-        Effect::Holds { player, attempt, server } => Some((*player, *attempt, *server)),
+        Effect::Holds {
+            player,
+            attempt,
+            server,
+        } => Some((*player, *attempt, *server)),
         _ => None,
     });
     let (player, attempt, server) = held.expect("it is held");
-    assert_eq!((player, server, rig.core.playing()), (PlayerId(50), ServerId(2), 1));
+    assert_eq!(
+        (player, server, rig.core.playing()),
+        (PlayerId(50), ServerId(2), 1)
+    );
     assert_eq!(rig.tell(adopt(51)), [], "told twice, it is held once");
     let effects = rig.tell(Input::Leave(PlayerId(50)));
-    assert!(effects.contains(&Effect::TearDown(attempt, server)), "{effects:?}");
+    assert!(
+        effects.contains(&Effect::TearDown(attempt, server)),
+        "{effects:?}"
+    );
     assert_eq!(rig.core.playing(), 0);
-    assert!(set_up(&rig.open(1, "held", PAID).1).is_none(), "what was paid is not set up again");
+    assert!(
+        set_up(&rig.open(1, "held", PAID).1).is_none(),
+        "what was paid is not set up again"
+    );
 }
 
 #[test]
@@ -356,9 +466,16 @@
     let (call, effects) = rig.open(7, "a", PAID);
     let (attempt, server) = set_up(&effects).expect("an attempt");
     let effects = rig.tell(Input::Leave(call.player));
-    assert_eq!(effects, [Effect::Abandon(attempt, server)], "and no answer is owed");
+    assert_eq!(
+        effects,
+        [Effect::Abandon(attempt, server)],
+        "and no answer is owed"
+    );
     assert_eq!(rig.core.waiting(), 0);
-    assert_eq!(rig.tell(Input::SetUp(attempt, SetUp::Started(Report::new()))), []);
+    assert_eq!(
+        rig.tell(Input::SetUp(attempt, SetUp::Started(Report::new()))),
+        []
+    );
 }
 
 #[test]
@@ -378,20 +495,37 @@
     let mut rig = rig();
     let (_, effects) = rig.open(1, "a", FREE);
     let (attempt, server) = set_up(&effects).unwrap();
-    assert!(rig.tell(Input::Lowered(attempt, true)).is_empty(), "before it plays there is nothing to lower");
+    assert!(
+        rig.tell(Input::Lowered(attempt, true)).is_empty(),
+        "before it plays there is nothing to lower"
+    );
     rig.tell(Input::SetUp(attempt, SetUp::Started(vec![])));
     let lowered = rig.tell(Input::Lowered(attempt, true));
-    assert!(lowered.contains(&Effect::SetRung(attempt, server, 0)), "{lowered:?}");
-    assert!(rig.pass(90 * SECOND).iter().all(|e| !matches!(e, Effect::SetRung(..))), "and stays there");
+    assert!(
+        lowered.contains(&Effect::SetRung(attempt, server, 0)),
+        "{lowered:?}"
+    );
+    assert!(
+        rig.pass(90 * SECOND)
+            .iter()
+            .all(|e| !matches!(e, Effect::SetRung(..))),
+        "and stays there"
+    );
     let mut after = rig.tell(Input::Lowered(attempt, false));
     after.extend(rig.pass(90 * SECOND));
-    assert!(after.iter().any(|e| matches!(e, Effect::SetRung(a, _, rung) if *a == attempt && *rung > 0)));
+    assert!(after
+        .iter()
+        .any(|e| matches!(e, Effect::SetRung(a, _, rung) if *a == attempt && *rung > 0)));
 }
 
 #[test]
 fn a_refusal_says_when_a_budget_holds_a_class_at_home() {
     let mut rig = rig();
-    let crossing = |class, leave| Input::Crossing { zone: 0, class, leave };
+    let crossing = |class, leave| Input::Crossing {
+        zone: 0,
+        class,
+        leave,
+    };
     rig.tell(crossing(FREE, Leave::Never));
     let why = |rig: &mut Rig, player, key: &str, class| {
         let (_, effects) = rig.open(player, key, class);
@@ -400,7 +534,10 @@
             _ => None,
         })
     };
-    assert_eq!(why(&mut rig, 1, "a", FREE), Some((Refusal::HeldAtHome, true)));
+    assert_eq!(
+        why(&mut rig, 1, "a", FREE),
+        Some((Refusal::HeldAtHome, true))
+    );
     assert_eq!(why(&mut rig, 2, "b", PAID), None, "the other class goes on");
     rig.tell(crossing(FREE, Leave::Free));
     assert_eq!(why(&mut rig, 3, "c", FREE), None);
@@ -423,7 +560,11 @@
         rig.pass(100 * MS);
     }
     let (call, effects) = rig.open(1, "k299", PAID);
-    assert_eq!(answers(&effects), [(call, Answer::Failed(Failure::KeySpent))], "late keys are known");
+    assert_eq!(
+        answers(&effects),
+        [(call, Answer::Failed(Failure::KeySpent))],
+        "late keys are known"
+    );
     let (_, effects) = rig.open(1, "k100", PAID);
     assert!(set_up(&effects).is_some(), "only so many are kept");
     rig.pass(100 * SECOND);
@@ -468,7 +609,12 @@
             },
             6 | 7 => match pick(&mut rng, &waiting) {
                 Some(a) => {
-                    let outcomes = [Outcome::Error, Outcome::Full, Outcome::ConnectFailed, Outcome::Reset];
+                    let outcomes = [
+                        Outcome::Error,
+                        Outcome::Full,
+                        Outcome::ConnectFailed,
+                        Outcome::Reset,
+                    ];
                     let outcome = outcomes[rng.rand_range(0..4) as usize];
                     gave = Some((a, outcome));
                     rig.tell(Input::SetUp(a, SetUp::Ended(outcome, vec![])))
@@ -478,7 +624,11 @@
             8 => match pick(&mut rng, &plays) {
                 Some(a) => {
                     playing.remove(&a);
-                    let how = if rng.rand_float() < 0.5 { Outcome::Ok } else { Outcome::Reset };
+                    let how = if rng.rand_float() < 0.5 {
+                        Outcome::Ok
+                    } else {
+                        Outcome::Reset
+                    };
                     rig.tell(Input::Over(a, how, vec![]))
                 }
                 None => vec![],
@@ -501,9 +651,20 @@
         }
         for effect in effects {
             match effect {
-                Effect::SetUp { attempt, request, order, .. } => {
-                    assert!(out_of.insert(request, attempt).is_none(), "seed {seed}: two attempts out");
-                    assert!(!ran_paid.contains(&request), "seed {seed}: a paid set-up sent again");
+                Effect::SetUp {
+                    attempt,
+                    request,
+                    order,
+                    ..
+                } => {
+                    assert!(
+                        out_of.insert(request, attempt).is_none(),
+                        "seed {seed}: two attempts out"
+                    );
+                    assert!(
+                        !ran_paid.contains(&request),
+                        "seed {seed}: a paid set-up sent again"
+                    );
                     of.insert(attempt, (request, order.class));
                     keys.insert(request, order.key);
                 }
@@ -519,13 +680,17 @@
                     playing.remove(&attempt);
                 }
                 Effect::Answer(call, answer) => {
-                    let (key, asked) =
-                        owed.remove(&call).unwrap_or_else(|| panic!("seed {seed}: not owed {call:?}"));
+                    let (key, asked) = owed
+                        .remove(&call)
+                        .unwrap_or_else(|| panic!("seed {seed}: not owed {call:?}"));
                     assert!(rig.now.0 - asked.0 <= 5 * SECOND, "seed {seed}: late");
                     // A refusal says that nothing of it ran: no paid request of this key may have.
                     let unknown = matches!(answer, Answer::Refused(..));
                     let ran = ran_paid.iter().any(|r| keys.get(r) == Some(&key));
-                    assert!(!unknown || !ran, "seed {seed}: refused though it may have run: {key}");
+                    assert!(
+                        !unknown || !ran,
+                        "seed {seed}: refused though it may have run: {key}"
+                    );
                 }
                 _ => {}
             }
--- a/crates/front/tests/returns.rs
+++ b/crates/front/tests/returns.rs
@@ -34,7 +34,12 @@
     let mut returning = Returning::new(steps, now);
     returning.read(now, ended);
     core.returns(returning, ended != Ended::Unknown, Careful::new(fleet));
-    Rig { core, now, out: vec![], calls: 0 }
+    Rig {
+        core,
+        now,
+        out: vec![],
+        calls: 0,
+    }
 }
 
 impl Rig {
@@ -59,10 +64,27 @@
 
     fn open(&mut self, key: &str, class: u8) -> (Call, Vec<Effect>) {
         self.calls += 1;
-        let call = Call { player: PlayerId(self.calls), number: 1 };
-        let open = Open { key: key.into(), class, copies: 3, top: 1, give_up: u64::MAX, ..Open::default() };
+        let call = Call {
+            player: PlayerId(self.calls),
+            number: 1,
+        };
+        let open = Open {
+            key: key.into(),
+            class,
+            copies: 3,
+            top: 1,
+            give_up: u64::MAX,
+            ..Open::default()
+        };
         let received = Time(self.now);
-        (call, self.tell(Input::Open { call, open, received }))
+        (
+            call,
+            self.tell(Input::Open {
+                call,
+                open,
+                received,
+            }),
+        )
     }
 
     fn listed(&mut self) {
@@ -73,14 +95,21 @@
             weight: 1.0,
             ..Listing::default()
         };
-        self.tell(Input::Roster(RosterKind::Full, (0..6).map(listing).collect()));
+        self.tell(Input::Roster(
+            RosterKind::Full,
+            (0..6).map(listing).collect(),
+        ));
     }
 
     /// All servers told, and what was found is known.
     fn settled(&mut self) -> Vec<Effect> {
         self.tell(Input::ServersKnown);
         let mut all = self.tell(Input::Settled);
-        assert!(all.iter().any(|e| matches!(e, Effect::Stage(Stage::Paid, _))), "{all:?}");
+        assert!(
+            all.iter()
+                .any(|e| matches!(e, Effect::Stage(Stage::Paid, _))),
+            "{all:?}"
+        );
         self.listed();
         all.extend(self.tell(Input::Serve));
         all
@@ -98,7 +127,10 @@
 }
 
 fn set_ups(effects: &[Effect]) -> usize {
-    effects.iter().filter(|e| matches!(e, Effect::SetUp { .. })).count()
+    effects
+        .iter()
+        .filter(|e| matches!(e, Effect::SetUp { .. }))
+        .count()
 }
 
 #[test]
@@ -115,7 +147,10 @@
     let Some(Answer::Refused(Refusal::Returning, advice)) = answer(&effects, free) else {
         panic!("{effects:?}")
     };
-    assert!(*advice > 0 && *advice <= SECOND, "no longer than players follow");
+    assert!(
+        *advice > 0 && *advice <= SECOND,
+        "no longer than players follow"
+    );
     // A second without one turned away: all are served.
     rig.pass(SECOND);
     assert_eq!(rig.core.stage(), Stage::All);
@@ -135,21 +170,33 @@
 #[test]
 fn each_who_waits_is_answered_before_it_gives_up_whatever_is_silent() {
     let mut rig = rig(Ended::PowerLost, 0);
-    rig.tell(Input::Unsettled { tenant: 0, key: "begun".into() });
+    rig.tell(Input::Unsettled {
+        tenant: 0,
+        key: "begun".into(),
+    });
     let (new, _) = rig.open("new", PAID);
     let (begun, _) = rig.open("begun", PAID);
     let (free, _) = rig.open("free", FREE);
     let effects = rig.pass(3900 * MS - 1);
     assert!(effects.is_empty(), "{effects:?}");
     let effects = rig.pass(2 * SECOND);
-    assert!(matches!(answer(&effects, new), Some(Answer::Refused(Refusal::Returning, _))));
+    assert!(matches!(
+        answer(&effects, new),
+        Some(Answer::Refused(Refusal::Returning, _))
+    ));
     // Danger: a refusal says that nothing ran.
-    assert_eq!(answer(&effects, begun), Some(&Answer::Failed(Failure::NoAnswer)));
+    assert_eq!(
+        answer(&effects, begun),
+        Some(&Answer::Failed(Failure::NoAnswer))
+    );
     assert!(matches!(answer(&effects, free), Some(Answer::Refused(..))));
     assert_eq!(rig.core.held(), 0);
     // Nobody is known who could tell: who comes later is told at once to come back.
     let (late, effects) = rig.open("late", FREE);
-    assert!(matches!(answer(&effects, late), Some(Answer::Refused(Refusal::Returning, _))));
+    assert!(matches!(
+        answer(&effects, late),
+        Some(Answer::Refused(Refusal::Returning, _))
+    ));
 }
 
 #[test]
@@ -157,33 +204,64 @@
     let mut rig = rig(Ended::Unknown, 0);
     let (paid, _) = rig.open("a", PAID);
     let effects = rig.pass(5 * SECOND);
-    assert_eq!(answer(&effects, paid), Some(&Answer::Failed(Failure::NoAnswer)));
+    assert_eq!(
+        answer(&effects, paid),
+        Some(&Answer::Failed(Failure::NoAnswer))
+    );
 }
 
 #[test]
 fn keys_of_former_lives_mean_what_servers_said_of_them() {
     let mut rig = rig(Ended::PowerLost, 0);
     for key in ["spent", "failed", "never"] {
-        rig.tell(Input::Unsettled { tenant: 0, key: key.into() });
+        rig.tell(Input::Unsettled {
+            tenant: 0,
+            key: key.into(),
+        });
     }
-    let calls: Vec<Call> = ["spent", "failed", "never"].map(|key| rig.open(key, PAID).0).into();
-    let said = [("spent", Some(Past::Played)), ("failed", Some(Past::Failed)), ("never", None)];
+    let calls: Vec<Call> = ["spent", "failed", "never"]
+        .map(|key| rig.open(key, PAID).0)
+        .into();
+    let said = [
+        ("spent", Some(Past::Played)),
+        ("failed", Some(Past::Failed)),
+        ("never", None),
+    ];
     for (key, past) in said {
-        rig.tell(Input::Recovered { tenant: 0, key: key.into(), class: PAID, past });
+        rig.tell(Input::Recovered {
+            tenant: 0,
+            key: key.into(),
+            class: PAID,
+            past,
+        });
     }
     let effects = rig.settled();
-    assert_eq!(answer(&effects, calls[0]), Some(&Answer::Failed(Failure::KeySpent)));
-    assert_eq!(answer(&effects, calls[1]), Some(&Answer::Failed(Failure::NoAnswer)));
+    assert_eq!(
+        answer(&effects, calls[0]),
+        Some(&Answer::Failed(Failure::KeySpent))
+    );
+    assert_eq!(
+        answer(&effects, calls[1]),
+        Some(&Answer::Failed(Failure::NoAnswer))
+    );
     assert_eq!(set_ups(&effects), 1, "what never ran is set up");
 }
 
 #[test]
 fn a_class_that_is_configured_no_more_counts_as_paid() {
     let mut rig = rig(Ended::PowerLost, 0);
-    rig.tell(Input::Recovered { tenant: 0, key: "k".into(), class: u8::MAX, past: Some(Past::Played) });
+    rig.tell(Input::Recovered {
+        tenant: 0,
+        key: "k".into(),
+        class: u8::MAX,
+        past: Some(Past::Played),
+    });
     rig.settled();
     let (call, effects) = rig.open("k", PAID);
-    assert_eq!(answer(&effects, call), Some(&Answer::Failed(Failure::KeySpent)));
+    assert_eq!(
+        answer(&effects, call),
+        Some(&Answer::Failed(Failure::KeySpent))
+    );
 }
 
 #[test]
@@ -191,14 +269,36 @@
     for comes in [true, false] {
         let mut rig = rig(Ended::PowerLost, 0);
         rig.settled();
-        let open = Open { key: "kept".into(), class: PAID, copies: 3, top: 1, ..Open::default() };
-        let effects = rig.tell(Input::Found { token: 5, open: open.clone(), server: ServerId(2) });
-        let [Effect::Found { token: 5, attempt: Some(attempt), server: ServerId(2) }] = effects[..] else {
+        let open = Open {
+            key: "kept".into(),
+            class: PAID,
+            copies: 3,
+            top: 1,
+            ..Open::default()
+        };
+        let effects = rig.tell(Input::Found {
+            token: 5,
+            open: open.clone(),
+            server: ServerId(2),
+        });
+        let [Effect::Found {
+            token: 5,
+            attempt: Some(attempt),
+            server: ServerId(2),
+        }] = effects[..]
+        else {
             panic!("{effects:?}")
         };
         assert_eq!(rig.core.playing(), 1);
-        let again = rig.tell(Input::Found { token: 6, open, server: ServerId(3) });
-        assert!(matches!(again[..], [Effect::Found { attempt: None, .. }]), "one session a key: {again:?}");
+        let again = rig.tell(Input::Found {
+            token: 6,
+            open,
+            server: ServerId(3),
+        });
+        assert!(
+            matches!(again[..], [Effect::Found { attempt: None, .. }]),
+            "one session a key: {again:?}"
+        );
         rig.pass(9 * SECOND);
         if comes {
             let (call, effects) = rig.open("kept", PAID);
@@ -240,10 +340,14 @@
 #[test]
 fn who_waits_is_bounded_and_who_leaves_is_owed_nothing() {
     let mut rig = rig(Ended::PowerLost, 0);
-    let calls: Vec<(Call, Vec<Effect>)> = (0..25).map(|n| rig.open(&format!("k{n}"), PAID)).collect();
-    let refused = calls
-        .iter()
-        .filter(|(call, e)| matches!(answer(e, *call), Some(Answer::Refused(Refusal::TooManyOpen, _))));
+    let calls: Vec<(Call, Vec<Effect>)> =
+        (0..25).map(|n| rig.open(&format!("k{n}"), PAID)).collect();
+    let refused = calls.iter().filter(|(call, e)| {
+        matches!(
+            answer(e, *call),
+            Some(Answer::Refused(Refusal::TooManyOpen, _))
+        )
+    });
     assert_eq!((refused.count(), rig.core.held()), (5, 20));
     rig.tell(Input::PlayerGone(calls[0].0.player));
     rig.tell(Input::Leave(calls[1].0.player));
@@ -258,7 +362,13 @@
         let mut rig = rig(Ended::InOrder, 0);
         rig.listed();
         let (call, effects) = rig.open("a", PAID);
-        let sent = |e: &Effect| if let Effect::SetUp { attempt, .. } = e { Some(*attempt) } else { None };
+        let sent = |e: &Effect| {
+            if let Effect::SetUp { attempt, .. } = e {
+                Some(*attempt)
+            } else {
+                None
+            }
+        };
         let mut attempt = effects.iter().find_map(sent).unwrap();
         let mut said = Vec::new();
         while rig.core.waiting() > 0 {
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -36,7 +36,11 @@
             Framing::UntilClose => State::UntilClose,
             Framing::Chunked => State::Size(Vec::new()),
         };
-        Ok(Body { state, most, read: 0 })
+        Ok(Body {
+            state,
+            most,
+            read: 0,
+        })
     }
 
     /// Whether all of it was read. A body until close never says so.
@@ -65,7 +69,11 @@
                     *left -= n as u64;
                     if *left == 0 {
                         let chunked = matches!(self.state, State::Chunk(_));
-                        self.state = if chunked { State::ChunkEnd(0) } else { State::Done };
+                        self.state = if chunked {
+                            State::ChunkEnd(0)
+                        } else {
+                            State::Done
+                        };
                     }
                 }
                 State::UntilClose => {
@@ -78,10 +86,16 @@
                 }
                 State::ChunkEnd(seen) => {
                     if rest[0] != b"\r\n"[usize::from(*seen)] {
-                        return Err(Bad::request("a chunk that does not end where its size says"));
+                        return Err(Bad::request(
+                            "a chunk that does not end where its size says",
+                        ));
                     }
                     at += 1;
-                    self.state = if *seen == 0 { State::ChunkEnd(1) } else { State::Size(Vec::new()) };
+                    self.state = if *seen == 0 {
+                        State::ChunkEnd(1)
+                    } else {
+                        State::Size(Vec::new())
+                    };
                 }
                 State::Size(line) | State::Trailer(line) => {
                     line.push(rest[0]);
@@ -102,23 +116,35 @@
 
     fn after_line(&mut self, line: &[u8]) -> Result<State, Bad> {
         if matches!(self.state, State::Trailer(_)) {
-            return Ok(if line.is_empty() { State::Done } else { State::Trailer(Vec::new()) });
+            return Ok(if line.is_empty() {
+                State::Done
+            } else {
+                State::Trailer(Vec::new())
+            });
         }
         let size = line.split(|b| *b == b';').next().unwrap_or(line);
         let text = std::str::from_utf8(size).unwrap_or("").trim_end();
-        let hex = !text.is_empty() && text.len() <= 15 && text.bytes().all(|b| b.is_ascii_hexdigit());
+        let hex =
+            !text.is_empty() && text.len() <= 15 && text.bytes().all(|b| b.is_ascii_hexdigit());
         let size = u64::from_str_radix(text, 16).ok().filter(|_| hex);
         let size = size.ok_or_else(|| Bad::request("a chunk whose size is no number"))?;
         self.read = self.read.saturating_add(size);
         if self.read > self.most {
             return Err(too_large(self.most));
         }
-        Ok(if size == 0 { State::Trailer(Vec::new()) } else { State::Chunk(size) })
+        Ok(if size == 0 {
+            State::Trailer(Vec::new())
+        } else {
+            State::Chunk(size)
+        })
     }
 }
 
 fn too_large(most: u64) -> Bad {
-    Bad { status: 413, what: format!("a body of more than {most} bytes") }
+    Bad {
+        status: 413,
+        what: format!("a body of more than {most} bytes"),
+    }
 }
 
 #[cfg(test)]
@@ -139,21 +165,47 @@
     #[test]
     fn bodies_end_where_they_say() {
         for step in 1..20 {
-            assert_eq!(read(Framing::Length(3), b"abcdef", step), Ok((b"abc".to_vec(), 3, true)));
+            assert_eq!(
+                read(Framing::Length(3), b"abcdef", step),
+                Ok((b"abc".to_vec(), 3, true))
+            );
             let chunks = b"3\r\nabc\r\n0A;x=y\r\n0123456789\r\n0\r\nt: v\r\n\r\nrest";
-            assert_eq!(read(Framing::Chunked, chunks, step), Ok((b"abc0123456789".to_vec(), 4, true)));
+            assert_eq!(
+                read(Framing::Chunked, chunks, step),
+                Ok((b"abc0123456789".to_vec(), 4, true))
+            );
         }
         assert!(!read(Framing::UntilClose, b"abc", 2).unwrap().2);
     }
 
     #[test]
     fn malformed_and_oversized_bodies_are_refused() {
-        for text in ["x\r\n", "-3\r\nabc", "3\r\nabcd\r\n", "fffffffffffffffff\r\n", "\r\n"] {
-            assert_eq!(read(Framing::Chunked, text.as_bytes(), 1).unwrap_err().status, 400, "{text:?}");
+        for text in [
+            "x\r\n",
+            "-3\r\nabc",
+            "3\r\nabcd\r\n",
+            "fffffffffffffffff\r\n",
+            "\r\n",
+        ] {
+            assert_eq!(
+                read(Framing::Chunked, text.as_bytes(), 1)
+                    .unwrap_err()
+                    .status,
+                400,
+                "{text:?}"
+            );
         }
-        assert_eq!(read(Framing::Chunked, b"3e9\r\n", 1).unwrap_err().status, 413);
+        assert_eq!(
+            read(Framing::Chunked, b"3e9\r\n", 1).unwrap_err().status,
+            413
+        );
         assert_eq!(read(Framing::Length(1001), b"", 1).unwrap_err().status, 413);
-        assert_eq!(read(Framing::UntilClose, &[0; 1001], 100).unwrap_err().status, 413);
+        assert_eq!(
+            read(Framing::UntilClose, &[0; 1001], 100)
+                .unwrap_err()
+                .status,
+            413
+        );
     }
 
     proptest! {
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -18,7 +18,10 @@
 impl Bad {
     /// A message that is malformed.
     pub fn request(what: impl Into<String>) -> Bad {
-        Bad { status: 400, what: what.into() }
+        Bad {
+            status: 400,
+            what: what.into(),
+        }
     }
 }
 
@@ -37,26 +40,38 @@
 impl Fields {
     /// The first value of a field; names are compared without case.
     pub fn get(&self, name: &str) -> Option<&str> {
-        self.0.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+        self.0
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name))
+            .map(|(_, v)| v.as_str())
     }
 
     /// Every value of a field.
     pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> + 'a {
-        self.0.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+        self.0
+            .iter()
+            .filter(move |(n, _)| n.eq_ignore_ascii_case(name))
+            .map(|(_, v)| v.as_str())
     }
 
     /// Whether a comma-separated field holds a word, compared without case.
     pub fn has_word(&self, name: &str, word: &str) -> bool {
-        self.all(name).flat_map(|v| v.split(',')).any(|w| w.trim().eq_ignore_ascii_case(word))
+        self.all(name)
+            .flat_map(|v| v.split(','))
+            .any(|w| w.trim().eq_ignore_ascii_case(word))
     }
 
     fn read(fields: &[httparse::Header<'_>]) -> Result<Fields, Bad> {
         let text = |f: &httparse::Header<'_>| {
-            let value =
-                std::str::from_utf8(f.value).map_err(|_| Bad::request("a field that is not UTF-8"))?;
+            let value = std::str::from_utf8(f.value)
+                .map_err(|_| Bad::request("a field that is not UTF-8"))?;
             Ok((f.name.to_owned(), value.trim().to_owned()))
         };
-        fields.iter().map(text).collect::<Result<_, _>>().map(Fields)
+        fields
+            .iter()
+            .map(text)
+            .collect::<Result<_, _>>()
+            .map(Fields)
     }
 }
 
@@ -97,17 +112,24 @@
 
 fn refused(e: httparse::Error) -> Bad {
     match e {
-        httparse::Error::TooManyHeaders => {
-            Bad { status: 431, what: format!("more than {MOST_FIELDS} fields") }
-        }
-        httparse::Error::Version => Bad { status: 505, what: "not HTTP/1.0 or HTTP/1.1".into() },
+        httparse::Error::TooManyHeaders => Bad {
+            status: 431,
+            what: format!("more than {MOST_FIELDS} fields"),
+        },
+        httparse::Error::Version => Bad {
+            status: 505,
+            what: "not HTTP/1.0 or HTTP/1.1".into(),
+        },
         other => Bad::request(other.to_string()),
     }
 }
 
 fn too_long(buffer: &[u8]) -> Result<(), Bad> {
     if buffer.len() > MOST_HEAD {
-        return Err(Bad { status: 431, what: format!("a head of more than {MOST_HEAD} bytes") });
+        return Err(Bad {
+            status: 431,
+            what: format!("a head of more than {MOST_HEAD} bytes"),
+        });
     }
     Ok(())
 }
@@ -120,7 +142,10 @@
     pub fn parse(buffer: &[u8]) -> Result<Option<(Request, usize)>, Bad> {
         let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
         let mut head = httparse::Request::new(&mut fields);
-        let length = match head.parse(&buffer[..buffer.len().min(MOST_HEAD)]).map_err(refused)? {
+        let length = match head
+            .parse(&buffer[..buffer.len().min(MOST_HEAD)])
+            .map_err(refused)?
+        {
             httparse::Status::Partial => return too_long(buffer).map(|()| None),
             httparse::Status::Complete(length) => length,
         };
@@ -169,13 +194,20 @@
     pub fn parse(buffer: &[u8]) -> Result<Option<(Response, usize)>, Bad> {
         let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
         let mut head = httparse::Response::new(&mut fields);
-        let length = match head.parse(&buffer[..buffer.len().min(MOST_HEAD)]).map_err(refused)? {
+        let length = match head
+            .parse(&buffer[..buffer.len().min(MOST_HEAD)])
+            .map_err(refused)?
+        {
             httparse::Status::Partial => return too_long(buffer).map(|()| None),
             httparse::Status::Complete(length) => length,
         };
         let fields = Fields::read(head.headers)?;
         Ok(Some((
-            Response { status: head.code.unwrap_or(0), minor: head.version.unwrap_or(1), fields },
+            Response {
+                status: head.code.unwrap_or(0),
+                minor: head.version.unwrap_or(1),
+                fields,
+            },
             length,
         )))
     }
@@ -210,17 +242,30 @@
     let codings: Vec<&str> = fields.all("transfer-encoding").collect();
     let length = lengths.next();
     if lengths.any(|l| Some(l) != length) || length.is_some() && !codings.is_empty() {
-        return Err(Bad::request("fields that contradict each other on the body's length"));
+        return Err(Bad::request(
+            "fields that contradict each other on the body's length",
+        ));
     }
     if !codings.is_empty() {
         let chunked = codings.len() == 1 && codings[0].eq_ignore_ascii_case("chunked");
-        let unknown = Bad { status: 501, what: format!("transfer coding {:?}", codings.join(", ")) };
-        return if chunked { Ok(Some(Framing::Chunked)) } else { Err(unknown) };
+        let unknown = Bad {
+            status: 501,
+            what: format!("transfer coding {:?}", codings.join(", ")),
+        };
+        return if chunked {
+            Ok(Some(Framing::Chunked))
+        } else {
+            Err(unknown)
+        };
     }
-    let Some(length) = length else { return Ok(None) };
+    let Some(length) = length else {
+        return Ok(None);
+    };
     let digits = !length.is_empty() && length.bytes().all(|b| b.is_ascii_digit());
     let parsed = length.parse().ok().filter(|_| digits);
-    parsed.map(|n| Some(Framing::Length(n))).ok_or_else(|| Bad::request(format!("content-length {length:?}")))
+    parsed
+        .map(|n| Some(Framing::Length(n)))
+        .ok_or_else(|| Bad::request(format!("content-length {length:?}")))
 }
 
 /// The usual reason phrase of a status; empty for others.
@@ -264,7 +309,13 @@
 }
 
 /// A whole request with a body that ends by length; none is stated where there is none.
-pub fn request(method: &str, target: &str, host: &str, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+pub fn request(
+    method: &str,
+    target: &str,
+    host: &str,
+    fields: &[(&str, &str)],
+    body: &[u8],
+) -> Vec<u8> {
     let mut head = format!("{method} {target} HTTP/1.1\r\nhost: {host}\r\n");
     for (name, value) in fields {
         let _ = write!(head, "{name}: {value}\r\n");
@@ -284,15 +335,25 @@
 
     fn framed(fields: &str) -> Result<Framing, Bad> {
         let text = format!("POST /x HTTP/1.1\r\nhost: a\r\n{fields}\r\n");
-        Request::parse(text.as_bytes()).unwrap().expect("whole").0.framing()
+        Request::parse(text.as_bytes())
+            .unwrap()
+            .expect("whole")
+            .0
+            .framing()
     }
 
     #[test]
     fn bodies_are_framed_one_way_or_refused() {
         assert_eq!(framed(""), Ok(Framing::Length(0)));
         assert_eq!(framed("content-length: 7\r\n"), Ok(Framing::Length(7)));
-        assert_eq!(framed("content-length: 7\r\ncontent-length: 7\r\n"), Ok(Framing::Length(7)));
-        assert_eq!(framed("transfer-encoding: chunked\r\n"), Ok(Framing::Chunked));
+        assert_eq!(
+            framed("content-length: 7\r\ncontent-length: 7\r\n"),
+            Ok(Framing::Length(7))
+        );
+        assert_eq!(
+            framed("transfer-encoding: chunked\r\n"),
+            Ok(Framing::Chunked)
+        );
         for (fields, status) in [
             ("content-length: 7\r\ncontent-length: 8\r\n", 400),
             ("content-length: 7\r\ntransfer-encoding: chunked\r\n", 400),
@@ -314,9 +375,16 @@
             ("GET / HTTP/1.1\r\nhost : a\r\n\r\n", 400),
             ("\x01\x02 garbage\r\n\r\n", 400),
         ] {
-            assert_eq!(Request::parse(text.as_bytes()).unwrap_err().status, status, "{text:?}");
+            assert_eq!(
+                Request::parse(text.as_bytes()).unwrap_err().status,
+                status,
+                "{text:?}"
+            );
         }
-        let many = format!("GET / HTTP/1.1\r\nhost: a\r\n{}\r\n", "x: y\r\n".repeat(MOST_FIELDS));
+        let many = format!(
+            "GET / HTTP/1.1\r\nhost: a\r\n{}\r\n",
+            "x: y\r\n".repeat(MOST_FIELDS)
+        );
         assert_eq!(Request::parse(many.as_bytes()).unwrap_err().status, 431);
         let long = format!("GET / HTTP/1.1\r\nhost: a\r\nx: {}", "y".repeat(MOST_HEAD));
         assert_eq!(Request::parse(long.as_bytes()).unwrap_err().status, 431);
@@ -325,9 +393,17 @@
 
     #[test]
     fn connections_are_kept_as_the_version_says() {
-        let keeps = |text: &str| Request::parse(text.as_bytes()).unwrap().unwrap().0.keeps_alive();
+        let keeps = |text: &str| {
+            Request::parse(text.as_bytes())
+                .unwrap()
+                .unwrap()
+                .0
+                .keeps_alive()
+        };
         assert!(keeps("GET / HTTP/1.1\r\nhost: a\r\n\r\n"));
-        assert!(!keeps("GET / HTTP/1.1\r\nhost: a\r\nconnection: Close\r\n\r\n"));
+        assert!(!keeps(
+            "GET / HTTP/1.1\r\nhost: a\r\nconnection: Close\r\n\r\n"
+        ));
         assert!(!keeps("GET / HTTP/1.0\r\n\r\n"));
         assert!(keeps("GET / HTTP/1.0\r\nconnection: x, keep-alive\r\n\r\n"));
     }
--- a/crates/http/src/orca.rs
+++ b/crates/http/src/orca.rs
@@ -12,9 +12,15 @@
 pub fn parse(value: &str) -> Result<Vec<(String, f64)>, String> {
     let (form, rest) = value.trim().split_once(' ').unwrap_or((value.trim(), ""));
     match form {
-        "TEXT" => rest.split(',').map(str::trim).filter(|p| !p.is_empty()).map(pair).collect(),
+        "TEXT" => rest
+            .split(',')
+            .map(str::trim)
+            .filter(|p| !p.is_empty())
+            .map(pair)
+            .collect(),
         "JSON" => {
-            let object: Value = serde_json::from_str(rest).map_err(|e| format!("load report: {e}"))?;
+            let object: Value =
+                serde_json::from_str(rest).map_err(|e| format!("load report: {e}"))?;
             let mut all = Vec::new();
             flatten("", &object, &mut all);
             Ok(all)
@@ -24,8 +30,9 @@
 }
 
 fn pair(text: &str) -> Result<(String, f64), String> {
-    let (name, value) =
-        text.split_once(['=', ':']).ok_or_else(|| format!("load report: {text:?} has no value"))?;
+    let (name, value) = text
+        .split_once(['=', ':'])
+        .ok_or_else(|| format!("load report: {text:?} has no value"))?;
     let number = value.trim().parse::<f64>().ok().filter(|v| v.is_finite());
     let number = number.ok_or_else(|| format!("load report: {value:?} is no number"))?;
     Ok((name.trim().to_owned(), number))
@@ -35,7 +42,11 @@
     match value {
         Value::Object(fields) => {
             for (name, value) in fields {
-                let path = if path.is_empty() { name.clone() } else { format!("{path}.{name}") };
+                let path = if path.is_empty() {
+                    name.clone()
+                } else {
+                    format!("{path}.{name}")
+                };
                 flatten(&path, value, all);
             }
         }
@@ -45,7 +56,10 @@
 
 /// A report in text form.
 pub fn write(figures: &[(&str, f64)]) -> String {
-    let pairs: Vec<String> = figures.iter().map(|(name, value)| format!("{name}={value:.4}")).collect();
+    let pairs: Vec<String> = figures
+        .iter()
+        .map(|(name, value)| format!("{name}={value:.4}"))
+        .collect();
     format!("TEXT {}", pairs.join(", "))
 }
 
@@ -57,10 +71,20 @@
     fn both_forms_say_the_same() {
         let text = parse("TEXT cpu_utilization=0.3, named_metrics.link_asked=1.25").unwrap();
         let json =
-            parse(r#"JSON {"cpu_utilization":0.3,"named_metrics":{"link_asked":1.25},"x":"y"}"#).unwrap();
-        assert_eq!(text, [("cpu_utilization".into(), 0.3), ("named_metrics.link_asked".into(), 1.25)]);
+            parse(r#"JSON {"cpu_utilization":0.3,"named_metrics":{"link_asked":1.25},"x":"y"}"#)
+                .unwrap();
+        assert_eq!(
+            text,
+            [
+                ("cpu_utilization".into(), 0.3),
+                ("named_metrics.link_asked".into(), 1.25)
+            ]
+        );
         assert_eq!(text, json);
-        assert_eq!(parse(&write(&[("a", 0.5)])).unwrap(), [("a".to_owned(), 0.5)]);
+        assert_eq!(
+            parse(&write(&[("a", 0.5)])).unwrap(),
+            [("a".to_owned(), 0.5)]
+        );
     }
 
     #[test]
--- a/crates/http/src/problem.rs
+++ b/crates/http/src/problem.rs
@@ -35,7 +35,13 @@
     /// A problem that the status tells.
     pub fn of(status: u16, detail: impl Into<String>) -> Problem {
         let title = head::reason(status).to_owned();
-        Problem { kind: blank(), title, status, detail: detail.into(), retry_after_ms: None }
+        Problem {
+            kind: blank(),
+            title,
+            status,
+            detail: detail.into(),
+            retry_after_ms: None,
+        }
     }
 
     /// The whole response; `fields` are added to it.
--- a/crates/http/src/sse.rs
+++ b/crates/http/src/sse.rs
@@ -53,13 +53,24 @@
     }
 
     fn take(&mut self, line: &str, events: &mut Vec<Event>) {
-        let line = if self.begun { line } else { line.strip_prefix('\u{feff}').unwrap_or(line) };
+        let line = if self.begun {
+            line
+        } else {
+            line.strip_prefix('\u{feff}').unwrap_or(line)
+        };
         self.begun = true;
         if line.is_empty() {
-            let (name, data) = (std::mem::take(&mut self.name), std::mem::take(&mut self.data));
+            let (name, data) = (
+                std::mem::take(&mut self.name),
+                std::mem::take(&mut self.data),
+            );
             self.size = 0;
             if let Some(data) = data.strip_suffix('\n') {
-                events.push(Event { name, data: data.to_owned(), id: self.id.clone() });
+                events.push(Event {
+                    name,
+                    data: data.to_owned(),
+                    id: self.id.clone(),
+                });
             }
             return;
         }
@@ -102,16 +113,25 @@
 
     fn read(bytes: &[u8], step: usize) -> Vec<Event> {
         let (mut reader, mut events) = (Reader::default(), Vec::new());
-        bytes.chunks(step).for_each(|c| reader.feed(c, &mut events).unwrap());
+        bytes
+            .chunks(step)
+            .for_each(|c| reader.feed(c, &mut events).unwrap());
         events
     }
 
     #[test]
     fn streams_are_read_in_any_pieces_and_with_any_line_ends() {
         let text = "\u{feff}: hello\nevent: a\nid: 7\ndata: x\ndata:y\nretry: 5\n\n:\n\ndata\n\nid: 8\n\ndata: z\n\nevent: cut";
-        let event =
-            |name: &str, data: &str, id: &str| Event { name: name.into(), data: data.into(), id: id.into() };
-        let want = [event("a", "x\ny", "7"), event("", "", "7"), event("", "z", "8")];
+        let event = |name: &str, data: &str, id: &str| Event {
+            name: name.into(),
+            data: data.into(),
+            id: id.into(),
+        };
+        let want = [
+            event("a", "x\ny", "7"),
+            event("", "", "7"),
+            event("", "z", "8"),
+        ];
         for step in 1..12 {
             assert_eq!(read(text.as_bytes(), step), want);
             assert_eq!(read(text.replace('\n', "\r\n").as_bytes(), step), want);
@@ -121,9 +141,17 @@
 
     #[test]
     fn what_is_written_is_read() {
-        let bytes = [write("note", "3", "{\"a\":1}\nb"), HEARTBEAT.to_vec(), write("", "", "c")].concat();
+        let bytes = [
+            write("note", "3", "{\"a\":1}\nb"),
+            HEARTBEAT.to_vec(),
+            write("", "", "c"),
+        ]
+        .concat();
         let events = read(&bytes, 5);
-        assert_eq!((events[0].name.as_str(), events[0].data.as_str()), ("note", "{\"a\":1}\nb"));
+        assert_eq!(
+            (events[0].name.as_str(), events[0].data.as_str()),
+            ("note", "{\"a\":1}\nb")
+        );
         assert_eq!((events[1].data.as_str(), events[1].id.as_str()), ("c", "3"));
     }
 
--- a/crates/lab/src/crossing.rs
+++ b/crates/lab/src/crossing.rs
@@ -34,12 +34,34 @@
     let mut sessions: HashMap<&str, Session<'_>> = HashMap::new();
     for Record { at, seen } in records {
         match seen {
-            Seen::SetUp { name, server, class, zone, rung, .. } => {
-                let Some(class) = config.classes.iter().position(|c| c == class) else { continue };
+            Seen::SetUp {
+                name,
+                server,
+                class,
+                zone,
+                rung,
+                ..
+            } => {
+                let Some(class) = config.classes.iter().position(|c| c == class) else {
+                    continue;
+                };
                 let (server, rung) = (*server, *rung);
-                sessions.insert(name, Session { server, zone, class, rung, plays: None, rungs: Vec::new() });
+                sessions.insert(
+                    name,
+                    Session {
+                        server,
+                        zone,
+                        class,
+                        rung,
+                        plays: None,
+                        rungs: Vec::new(),
+                    },
+                );
             }
-            Seen::Replied { name, reply: Reply::Plays } => {
+            Seen::Replied {
+                name,
+                reply: Reply::Plays,
+            } => {
                 sessions.entry(name).and_modify(|s| s.plays = Some(*at));
             }
             Seen::Rung { name, rung } => {
@@ -64,20 +86,40 @@
 impl Crossed {
     fn add(&mut self, s: &Session<'_>, bytes: u64, config: &Config) {
         let (settings, class) = (&config.settings, &config.settings.classes[s.class]);
-        let kb =
-            |rung: u8| settings.rung_kb.get(usize::from(rung)).copied().unwrap_or(0.0) * class.rate_factor;
+        let kb = |rung: u8| {
+            settings
+                .rung_kb
+                .get(usize::from(rung))
+                .copied()
+                .unwrap_or(0.0)
+                * class.rate_factor
+        };
         let from = &config.zones[s.server as usize % config.zones.len()];
-        let key = (from.clone(), s.zone.to_owned(), config.classes[s.class].clone());
+        let key = (
+            from.clone(),
+            s.zone.to_owned(),
+            config.classes[s.class].clone(),
+        );
         *self.bytes.entry(key).or_default() += bytes;
         let length = |(from, to, _): &(u64, u64, u8)| (to - from) as f64 / SECOND as f64;
         let wanted: f64 = s.rungs.iter().map(|r| length(r) * kb(r.2) * 1000.0).sum();
         let earned: f64 = s
             .rungs
             .iter()
-            .map(|r| length(r) * settings.rung_worth.get(usize::from(r.2)).copied().unwrap_or(0.0))
+            .map(|r| {
+                length(r)
+                    * settings
+                        .rung_worth
+                        .get(usize::from(r.2))
+                        .copied()
+                        .unwrap_or(0.0)
+            })
             .sum();
         let delivered = (bytes as f64 / (wanted * WHOLE).max(1.0)).min(1.0);
-        *self.worth.entry(config.classes[s.class].clone()).or_default() += earned * class.worth * delivered;
+        *self
+            .worth
+            .entry(config.classes[s.class].clone())
+            .or_default() += earned * class.worth * delivered;
         if from != s.zone && !s.zone.is_empty() {
             let paid = class.effect == crankpaddle::Effect::SingleShot;
             for (from, to, rung) in &s.rungs {
@@ -99,7 +141,10 @@
         };
         let seconds = from / SECOND..(to / SECOND).saturating_sub(over.saturating_sub(1));
         seconds.fold((0.0, 0.0), |(all, rest), second| {
-            (mean(second, &|(p, r)| p + r).max(all), mean(second, &|(_, r)| r).max(rest))
+            (
+                mean(second, &|(p, r)| p + r).max(all),
+                mean(second, &|(_, r)| r).max(rest),
+            )
         })
     }
 
@@ -107,7 +152,9 @@
     pub fn below(&self, kb: f64, after: u64, to: u64, over: u64) -> Option<u64> {
         let last = (to / SECOND).saturating_sub(over);
         let first = after / SECOND;
-        (first..last).find(|s| self.peak(s * SECOND, to, over).0 <= kb).map(|s| s - first)
+        (first..last)
+            .find(|s| self.peak(s * SECOND, to, over).0 <= kb)
+            .map(|s| s - first)
     }
 }
 
@@ -119,7 +166,10 @@
     #[test]
     fn rungs_times_and_bytes_make_rates_worth_and_flows() {
         let config = fleet_config(FLEET).unwrap();
-        let at = |second: u64, seen| Record { at: second * SECOND, seen };
+        let at = |second: u64, seen| Record {
+            at: second * SECOND,
+            seen,
+        };
         let name = || "a".to_owned();
         let set_up = Seen::SetUp {
             name: name(),
@@ -134,9 +184,27 @@
         // 28 kB/s for 10 s, then 140 kB/s for 10 s; half of it is delivered.
         let records = [
             at(100, set_up),
-            at(101, Seen::Replied { name: name(), reply: Reply::Plays }),
-            at(111, Seen::Rung { name: name(), rung: 3 }),
-            at(121, Seen::Ended { name: name(), bytes: 840_000 }),
+            at(
+                101,
+                Seen::Replied {
+                    name: name(),
+                    reply: Reply::Plays,
+                },
+            ),
+            at(
+                111,
+                Seen::Rung {
+                    name: name(),
+                    rung: 3,
+                },
+            ),
+            at(
+                121,
+                Seen::Ended {
+                    name: name(),
+                    bytes: 840_000,
+                },
+            ),
         ];
         let all = crossed(&records, &config);
         let close = |a: f64, b: f64| (a - b).abs() < 1e-6 * b.max(1.0);
@@ -144,9 +212,17 @@
         assert!(close(all.peak(100 * SECOND, 130 * SECOND, 2).0, 140.0));
         assert_eq!(all.peak(100 * SECOND, 130 * SECOND, 2).1, 0.0);
         assert_eq!(all.below(50.0, 105 * SECOND, 130 * SECOND, 1), Some(16));
-        assert_eq!(all.below(10.0, 105 * SECOND, 121 * SECOND, 1), None, "it never is");
+        assert_eq!(
+            all.below(10.0, 105 * SECOND, 121 * SECOND, 1),
+            None,
+            "it never is"
+        );
         let whole = 2.0 * (10.0 * 0.25 + 10.0 * 0.83);
-        assert!(close(all.worth["licensed-view"], whole * 0.5 / WHOLE), "{:?}", all.worth);
+        assert!(
+            close(all.worth["licensed-view"], whole * 0.5 / WHOLE),
+            "{:?}",
+            all.worth
+        );
         assert_eq!(all.bytes.values().sum::<u64>(), 840_000);
     }
 }
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -81,7 +81,9 @@
             all.entry(key.clone()).or_default().0 += bytes;
         }
         for f in &self.told.flows {
-            all.entry((f.from.clone(), f.to.clone(), f.class.clone())).or_default().1 += f.bytes;
+            all.entry((f.from.clone(), f.to.clone(), f.class.clone()))
+                .or_default()
+                .1 += f.bytes;
         }
         all
     }
@@ -108,8 +110,13 @@
     ) -> io::Result<Front> {
         let zone = index as usize % config.zones.len();
         let cache = play.dir.join(format!("front-{index}.list"));
-        let block =
-            front_block(index, day.fronts, &config.zones[zone], &list.to_string(), &cache.to_string_lossy());
+        let block = front_block(
+            index,
+            day.fronts,
+            &config.zones[zone],
+            &list.to_string(),
+            &cache.to_string_lossy(),
+        );
         let text = with_workers(&block, play.workers) + peers + &day.fleet;
         let process = Process::start(&play.exe, &play.dir, &format!("front-{index}"), &text)?;
         Ok(Front { process, zone })
@@ -128,8 +135,13 @@
 impl Stage {
     fn listed(&self, server: u32, state: State) {
         let address = self.fleet.servers[server as usize].address;
-        let started = if state == State::Ready { clock::now() / MILLISECOND } else { 0 };
-        self.list.change(entry(&self.config, server, address, state, started));
+        let started = if state == State::Ready {
+            clock::now() / MILLISECOND
+        } else {
+            0
+        };
+        self.list
+            .change(entry(&self.config, server, address, state, started));
     }
 
     fn begin(&self, fault: &Fault, fronts: &[Front]) {
@@ -159,7 +171,10 @@
             Kind::ListGone => self.list.set_gone(true),
             Kind::Stall(which) => {
                 for &front in which {
-                    self.recorder.see(Seen::Stalled { front, stands: true });
+                    self.recorder.see(Seen::Stalled {
+                        front,
+                        stands: true,
+                    });
                     fronts[front as usize].process.signal(Signal::STOP);
                 }
             }
@@ -194,7 +209,10 @@
             Kind::Stall(which) => {
                 for &front in which {
                     fronts[front as usize].process.signal(Signal::CONT);
-                    self.recorder.see(Seen::Stalled { front, stands: false });
+                    self.recorder.see(Seen::Stalled {
+                        front,
+                        stands: false,
+                    });
                 }
             }
             _ => {}
@@ -208,7 +226,9 @@
     let mut rng = StdRng::seed_from_u64(seed);
     let mut titles: Vec<&String> = config.titles.keys().collect();
     titles.sort();
-    let weights: Vec<f64> = (1..=titles.len()).map(|n| (n as f64).powf(-day.zipf)).collect();
+    let weights: Vec<f64> = (1..=titles.len())
+        .map(|n| (n as f64).powf(-day.zipf))
+        .collect();
     let pick = |rng: &mut StdRng, weights: &[f64]| {
         let mut left = rng.random_range(0.0..weights.iter().sum());
         weights.iter().position(|w| {
@@ -216,7 +236,13 @@
             left < 0.0
         })
     };
-    let peak = day.faults.iter().map(|f| if let Kind::Burst(times) = f.kind { times.max(1.0) } else { 1.0 });
+    let peak = day.faults.iter().map(|f| {
+        if let Kind::Burst(times) = f.kind {
+            times.max(1.0)
+        } else {
+            1.0
+        }
+    });
     let peak = day.rate * peak.product::<f64>();
     let exponential = |rng: &mut StdRng, mean: f64| -mean * (1.0 - rng.random::<f64>()).ln();
     let (mut all, mut at) = (Vec::new(), 0.0);
@@ -229,9 +255,13 @@
         if !rng.random_bool((day.rate_at(time) / peak).min(1.0)) {
             continue; // Thinned: the rate is lower now.
         }
-        let crowd = day.crowd_at(time).filter(|(_, part)| rng.random_bool(*part));
-        let title =
-            crowd.map(|(title, _)| title % titles.len()).or_else(|| pick(&mut rng, &weights)).unwrap_or(0);
+        let crowd = day
+            .crowd_at(time)
+            .filter(|(_, part)| rng.random_bool(*part));
+        let title = crowd
+            .map(|(title, _)| title % titles.len())
+            .or_else(|| pick(&mut rng, &weights))
+            .unwrap_or(0);
         let class = pick(&mut rng, &day.share).unwrap_or(0);
         let rungs = config.settings.rung_kb.len() as u8;
         let small = rng.random_bool(0.25);
@@ -241,7 +271,8 @@
                 seed: rng.random(),
                 title: titles[title].clone(),
                 class: (class as u8, config.classes[class].clone()),
-                watch: (exponential(&mut rng, day.watch as f64) as u64).clamp(day.watch / 10, day.watch * 4),
+                watch: (exponential(&mut rng, day.watch as f64) as u64)
+                    .clamp(day.watch / 10, day.watch * 4),
                 patience: config.terms.give_up[class],
                 top: if small { rungs / 2 } else { rungs - 1 },
                 fronts: Vec::new(),
@@ -284,24 +315,42 @@
     let recorder = Recorder::default();
     let layout = layout(day, play.seed);
     let fleet = Fleet::start(config.clone(), &layout, recorder.clone())?;
-    let entries = fleet.servers.iter().map(|s| entry(&config, s.id, s.address, State::Ready, 0)).collect();
+    let entries = fleet
+        .servers
+        .iter()
+        .map(|s| entry(&config, s.id, s.address, State::Ready, 0))
+        .collect();
     let list = ListService::start(entries, day.list_delay, recorder.clone())?;
     let known = if play.peers {
-        Some((Mesh::start(day.fronts as usize, play.seed)?, write_key(&play.dir)?))
+        Some((
+            Mesh::start(day.fronts as usize, play.seed)?,
+            write_key(&play.dir)?,
+        ))
     } else {
         None
     };
-    let views = known.as_ref().map(|(mesh, _)| Views::start(day.fronts as usize, mesh));
+    let views = known
+        .as_ref()
+        .map(|(mesh, _)| Views::start(day.fronts as usize, mesh));
     let mut fronts = Vec::new();
     for index in 0..day.fronts {
-        let peers = known.as_ref().map(|(mesh, key)| mesh.block(index as usize, &[0], key, "1s"));
+        let peers = known
+            .as_ref()
+            .map(|(mesh, key)| mesh.block(index as usize, &[0], key, "1s"));
         let peers = peers.unwrap_or_default();
         let front = Front::start(play, index, day, &config, &list.address, &peers)?;
-        views.iter().for_each(|views| views.runs(index as usize, Some(front.process.address)));
+        views
+            .iter()
+            .for_each(|views| views.runs(index as usize, Some(front.process.address)));
         fronts.push(front);
     }
-    let stage =
-        Stage { config: config.clone(), fleet, list, recorder: recorder.clone(), list_delay: day.list_delay };
+    let stage = Stage {
+        config: config.clone(),
+        fleet,
+        list,
+        recorder: recorder.clone(),
+        list_delay: day.list_delay,
+    };
     let start = clock::now();
     let played = run(day, play, &stage, &fronts);
     let told = together(fronts.iter().filter_map(|f| traffic(&f.process.address)));
@@ -316,20 +365,40 @@
     let bytes = bytes(&records, day, &mut faults);
     let verdict = judge(&Rules::of(&config, DRAIN_GRACE, BLUR), &records);
     let crossed = crossed(&records, &config);
-    Ok(Outcome { verdict, records, faults, bytes, crossed, told, start })
+    Ok(Outcome {
+        verdict,
+        records,
+        faults,
+        bytes,
+        crossed,
+        told,
+        start,
+    })
 }
 
 fn run(day: &Day, play: &Play, stage: &Stage, fronts: &[Front]) -> io::Result<Vec<String>> {
     let crowd = Arc::new(Crowd::new(stage.recorder.clone(), habits(day)));
-    let mut moments: Vec<(u64, bool, &Fault)> =
-        day.faults.iter().flat_map(|f| [(f.at, true, f), (f.at + f.length, false, f)]).collect();
+    let mut moments: Vec<(u64, bool, &Fault)> = day
+        .faults
+        .iter()
+        .flat_map(|f| [(f.at, true, f), (f.at + f.length, false, f)])
+        .collect();
     moments.sort_by_key(|(at, ..)| *at);
     let mut moments = moments.into_iter().peekable();
-    let mut visits = arrivals(day, &stage.config, play.seed).into_iter().peekable();
+    let mut visits = arrivals(day, &stage.config, play.seed)
+        .into_iter()
+        .peekable();
     let zones = stage.config.zones.len();
     let of_zone = |zone: usize| -> Vec<(u32, SocketAddr)> {
-        let all = fronts.iter().enumerate().map(|(n, f)| (n as u32, f.process.address, f.zone));
-        let own: Vec<_> = all.clone().filter(|(.., z)| *z == zone).map(|(n, a, _)| (n, a)).collect();
+        let all = fronts
+            .iter()
+            .enumerate()
+            .map(|(n, f)| (n as u32, f.process.address, f.zone));
+        let own: Vec<_> = all
+            .clone()
+            .filter(|(.., z)| *z == zone)
+            .map(|(n, a, _)| (n, a))
+            .collect();
         if own.is_empty() {
             all.map(|(n, a, _)| (n, a)).collect()
         } else {
@@ -342,11 +411,15 @@
     loop {
         let next_moment = moments.peek().map(|(at, ..)| *at);
         let next_visit = visits.peek().map(|(at, _)| *at);
-        let Some(next) = next_moment.into_iter().chain(next_visit).min() else { break };
+        let Some(next) = next_moment.into_iter().chain(next_visit).min() else {
+            break;
+        };
         let wait = (start + next).saturating_sub(clock::now());
         std::thread::sleep(Duration::from_nanos(wait));
         if next_moment == Some(next) {
-            let Some((_, begins, fault)) = moments.next() else { break };
+            let Some((_, begins, fault)) = moments.next() else {
+                break;
+            };
             if begins {
                 stage.begin(fault, fronts);
             } else {
@@ -375,7 +448,10 @@
         std::thread::sleep(Duration::from_millis(50));
     }
     if stage.fleet.streams() > 0 {
-        faults.push(format!("{} streams left at servers though nobody watches", stage.fleet.streams()));
+        faults.push(format!(
+            "{} streams left at servers though nobody watches",
+            stage.fleet.streams()
+        ));
     }
     if crowd.found_no_front() > 0 {
         faults.push(format!("{} tries found no front", crowd.found_no_front()));
@@ -416,7 +492,9 @@
     let segments = day.segment.max(1);
     let allowed = sent / 50 + mean * segments / day.watch.max(1) * 10;
     if sent.abs_diff(read) > allowed + 1_000_000 {
-        faults.push(format!("servers sent {sent} media bytes and players read {read}"));
+        faults.push(format!(
+            "servers sent {sent} media bytes and players read {read}"
+        ));
     }
     (sent, read)
 }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -84,16 +84,28 @@
         for Record { at, seen } in records {
             match seen {
                 Seen::Asked { call, .. } => drop(asked.insert(*call, *at)),
-                Seen::Told { call, told: Told::Plays } => times.extend(asked.get(call).map(|from| at - from)),
+                Seen::Told {
+                    call,
+                    told: Told::Plays,
+                } => times.extend(asked.get(call).map(|from| at - from)),
                 _ => {}
             }
         }
         times.sort_unstable();
-        let part = |of: f64| times.get((times.len() as f64 * of) as usize).copied().unwrap_or(0);
-        let ticks =
-            procfs::process::Process::myself().and_then(|me| me.stat()).map_or(0, |s| s.cutime + s.cstime);
+        let part = |of: f64| {
+            times
+                .get((times.len() as f64 * of) as usize)
+                .copied()
+                .unwrap_or(0)
+        };
+        let ticks = procfs::process::Process::myself()
+            .and_then(|me| me.stat())
+            .map_or(0, |s| s.cutime + s.cstime);
         let cpu = ticks.max(0) as u64 * SECOND / procfs::ticks_per_second();
-        Cost { answered: (part(0.5), part(0.99)), cpu }
+        Cost {
+            answered: (part(0.5), part(0.99)),
+            cpu,
+        }
     }
 }
 
@@ -136,10 +148,26 @@
         let zone = &zones[i % zones.len()];
         let cache = self.cache(i);
         let list = self.stage.list.address.to_string();
-        let block = front_block(i as u32, self.plan.fronts, zone, &list, &cache.to_string_lossy());
-        let peers = self.key.as_ref().map(|key| self.mesh.block(i, &self.seeds, key, &self.plan.probe_every));
-        let store = self.hosts.as_ref().map(|hosts| hosts.block(i)).unwrap_or_default();
-        with_workers(&block, self.plan.workers) + &peers.unwrap_or_default() + &store + &self.stage.text
+        let block = front_block(
+            i as u32,
+            self.plan.fronts,
+            zone,
+            &list,
+            &cache.to_string_lossy(),
+        );
+        let peers = self
+            .key
+            .as_ref()
+            .map(|key| self.mesh.block(i, &self.seeds, key, &self.plan.probe_every));
+        let store = self
+            .hosts
+            .as_ref()
+            .map(|hosts| hosts.block(i))
+            .unwrap_or_default();
+        with_workers(&block, self.plan.workers)
+            + &peers.unwrap_or_default()
+            + &store
+            + &self.stage.text
     }
 
     fn cache(&self, i: usize) -> PathBuf {
@@ -148,7 +176,11 @@
 
     /// Starts those that do not run, all at once, from nothing.
     fn start(&mut self, which: &[usize]) -> io::Result<()> {
-        let which: Vec<usize> = which.iter().copied().filter(|i| self.processes[*i].is_none()).collect();
+        let which: Vec<usize> = which
+            .iter()
+            .copied()
+            .filter(|i| self.processes[*i].is_none())
+            .collect();
         let texts: Vec<(usize, String)> = which.iter().map(|i| (*i, self.text(*i))).collect();
         // From nothing; but a host whose power was away has its disk.
         for i in which.iter().filter(|_| self.hosts.is_none()) {
@@ -158,12 +190,22 @@
         let started: Vec<(usize, io::Result<Process>)> = std::thread::scope(|scope| {
             let start = |(i, text): (usize, String)| {
                 let name = format!("front-{i}");
-                let exe = plan.other.as_ref().filter(|_| others[i]).unwrap_or(&plan.exe);
-                (i, scope.spawn(move || Process::start(exe, &plan.dir, &name, &text)))
+                let exe = plan
+                    .other
+                    .as_ref()
+                    .filter(|_| others[i])
+                    .unwrap_or(&plan.exe);
+                (
+                    i,
+                    scope.spawn(move || Process::start(exe, &plan.dir, &name, &text)),
+                )
             };
             let starting: Vec<_> = texts.into_iter().map(start).collect();
             let died = |_| Err(io::Error::other("the thread that started it died"));
-            starting.into_iter().map(|(i, thread)| (i, thread.join().unwrap_or_else(died))).collect()
+            starting
+                .into_iter()
+                .map(|(i, thread)| (i, thread.join().unwrap_or_else(died)))
+                .collect()
         });
         for (i, process) in started {
             let process = process?;
@@ -182,11 +224,17 @@
                 self.views.runs(*i, None);
             }
         }
-        which.iter().filter_map(|i| self.processes[*i].take()).try_for_each(Process::kill)
+        which
+            .iter()
+            .filter_map(|i| self.processes[*i].take())
+            .try_for_each(Process::kill)
     }
 
     fn end(&mut self, which: &[usize]) -> io::Result<Vec<String>> {
-        let mut ending: Vec<Process> = which.iter().filter_map(|i| self.processes[*i].take()).collect();
+        let mut ending: Vec<Process> = which
+            .iter()
+            .filter_map(|i| self.processes[*i].take())
+            .collect();
         which.iter().for_each(|i| self.views.runs(*i, None));
         let within = Duration::from_nanos(self.stage.config.limits.drain) + Duration::from_secs(5);
         end_all(ending.iter_mut(), within)
@@ -194,9 +242,19 @@
 
     fn stop(&mut self, which: &[usize], stands: bool) {
         let signal = if stands { Signal::STOP } else { Signal::CONT };
-        for i in which.iter().copied().filter(|i| self.stopped[*i] != stands).collect::<Vec<_>>() {
-            let Some(process) = &self.processes[i] else { continue };
-            let seen = Seen::Stalled { front: i as u32, stands };
+        for i in which
+            .iter()
+            .copied()
+            .filter(|i| self.stopped[*i] != stands)
+            .collect::<Vec<_>>()
+        {
+            let Some(process) = &self.processes[i] else {
+                continue;
+            };
+            let seen = Seen::Stalled {
+                front: i as u32,
+                stands,
+            };
             if stands {
                 self.stage.recorder.see(seen);
                 process.signal(signal);
@@ -220,7 +278,9 @@
 
     fn power(&mut self, power: &Power) -> io::Result<()> {
         let (n, servers) = (self.processes.len(), self.stage.fleet.servers.len());
-        let Some(hosts) = &mut self.hosts else { return Err(io::Error::other("the case has no hosts")) };
+        let Some(hosts) = &mut self.hosts else {
+            return Err(io::Error::other("the case has no hosts"));
+        };
         match power {
             Power::Off(fronts, of_servers, list) => {
                 let (fronts, of_servers) = (fronts.of(n), of_servers.of(servers));
@@ -243,7 +303,10 @@
             Power::Copy(fronts) => hosts.copy(&fronts.of(n)),
             Power::Disk(fronts, spoil) => hosts.spoil(&fronts.of(n), *spoil),
             Power::LoseBooks(of_servers) => {
-                of_servers.of(servers).into_iter().for_each(|id| self.stage.fleet.lose_book(id as u32));
+                of_servers
+                    .of(servers)
+                    .into_iter()
+                    .for_each(|id| self.stage.fleet.lose_book(id as u32));
                 Ok(())
             }
         }
@@ -290,7 +353,9 @@
                     net.act(&act, n, (0, 0));
                 });
             }
-            Act::Runs(fronts, other) => of(fronts).into_iter().for_each(|i| self.others[i] = *other),
+            Act::Runs(fronts, other) => {
+                of(fronts).into_iter().for_each(|i| self.others[i] = *other)
+            }
             Act::Power(power) => self.power(power).map_err(said)?,
             Act::Write(_) => {
                 return Err("no front writes on the board yet; play it with --virtual".to_owned())
@@ -329,7 +394,9 @@
             let sent = self.mesh.sent(i);
             (sent.0 as f64 / time, sent.1 as f64 / time)
         };
-        (0..self.processes.len()).map(rate).fold((0.0, 0.0), |a: Rate, b: Rate| (a.0.max(b.0), a.1.max(b.1)))
+        (0..self.processes.len())
+            .map(rate)
+            .fold((0.0, 0.0), |a: Rate, b: Rate| (a.0.max(b.0), a.1.max(b.1)))
     }
 }
 
@@ -337,7 +404,9 @@
 fn come(visits: Vec<(u64, Visit)>, crowd: &Arc<Crowd>, views: &Views, over: &AtomicBool) {
     let start = clock::now();
     for (at, mut visit) in visits {
-        std::thread::sleep(Duration::from_nanos((start + at).saturating_sub(clock::now())));
+        std::thread::sleep(Duration::from_nanos(
+            (start + at).saturating_sub(clock::now()),
+        ));
         if over.load(Ordering::Acquire) {
             return;
         }
@@ -361,19 +430,39 @@
     let config = Arc::new(fleet_config(&day.fleet).map_err(wrong)?);
     let recorder = Recorder::default();
     let fleet = Fleet::start(config.clone(), &layout(day, plan.seed), recorder.clone())?;
-    let entries: Vec<_> =
-        fleet.servers.iter().map(|s| entry(&config, s.id, s.address, list::State::Ready, 0)).collect();
+    let entries: Vec<_> = fleet
+        .servers
+        .iter()
+        .map(|s| entry(&config, s.id, s.address, list::State::Ready, 0))
+        .collect();
     let list = ListService::start(entries, day.list_delay, recorder.clone())?;
-    let stage =
-        Stage { config: config.clone(), fleet, list, recorder: recorder.clone(), text: day.fleet.clone() };
+    let stage = Stage {
+        config: config.clone(),
+        fleet,
+        list,
+        recorder: recorder.clone(),
+        text: day.fleet.clone(),
+    };
     let n = plan.fronts as usize;
     let mesh = Mesh::start(n, plan.seed)?;
-    let hosts = case.needs_disks().then(|| Hosts::new(&plan.dir, plan.memory, plan.seed, n)).transpose()?;
-    let habits = Habits { keeps_key: hosts.is_some(), ..habits(day) };
+    let hosts = case
+        .needs_disks()
+        .then(|| Hosts::new(&plan.dir, plan.memory, plan.seed, n))
+        .transpose()?;
+    let habits = Habits {
+        keeps_key: hosts.is_some(),
+        ..habits(day)
+    };
     let views = Views::start(n, &mesh);
     let finder = {
         let views = views.clone();
-        move |front| views.running().into_iter().find(|(n, _)| *n == front).map(|(_, a)| a)
+        move |front| {
+            views
+                .running()
+                .into_iter()
+                .find(|(n, _)| *n == front)
+                .map(|(_, a)| a)
+        }
     };
     let crowd = Arc::new(Crowd::new(recorder.clone(), habits).finding(Box::new(finder)));
     let mut rig = Rig {
@@ -394,7 +483,14 @@
     let over = Arc::new(AtomicBool::new(false));
     let coming = {
         let (crowd, views, over) = (crowd.clone(), views.clone(), over.clone());
-        let visits = arrivals(&Day { length: 3600 * SECOND, ..day.clone() }, &config, plan.seed);
+        let visits = arrivals(
+            &Day {
+                length: 3600 * SECOND,
+                ..day.clone()
+            },
+            &config,
+            plan.seed,
+        );
         std::thread::spawn(move || come(visits, &crowd, &views, &over))
     };
     let played = play(case, &mut rig).map_err(io::Error::other);
@@ -414,13 +510,19 @@
         faults.push(format!("{} players never left", crowd.there()));
     }
     // Sessions of players that did not come back are ended by their front after its time. Where a front was killed nobody ends them.
-    let died = recorder.all().iter().any(|r| matches!(r.seen, Seen::Died { .. }));
+    let died = recorder
+        .all()
+        .iter()
+        .any(|r| matches!(r.seen, Seen::Died { .. }));
     let patience = clock::now() + config.terms.resume + 5 * SECOND;
     while !died && stage.fleet.streams() > 0 && clock::now() < patience {
         std::thread::sleep(Duration::from_millis(50));
     }
     if !died && stage.fleet.streams() > 0 {
-        faults.push(format!("{} streams left at servers though nobody watches", stage.fleet.streams()));
+        faults.push(format!(
+            "{} streams left at servers though nobody watches",
+            stage.fleet.streams()
+        ));
     }
     faults.extend(views.missed());
     views.end();
@@ -429,5 +531,11 @@
     let records = recorder.all();
     let verdict = judge(&Rules::of(&config, DRAIN_GRACE, BLUR), &records);
     let cost = Cost::of(&records);
-    Ok(Outcome { played: played?, verdict, faults, records, cost })
+    Ok(Outcome {
+        played: played?,
+        verdict,
+        faults,
+        records,
+        cost,
+    })
 }
--- a/crates/lab/src/hosts.rs
+++ b/crates/lab/src/hosts.rs
@@ -48,7 +48,10 @@
         };
         for i in 0..fronts {
             // What an earlier play left: with the same seed players come with the same keys, which are spent there.
-            for folder in [hosts.store(i), hosts.copied(i)].into_iter().filter(|folder| folder.exists()) {
+            for folder in [hosts.store(i), hosts.copied(i)]
+                .into_iter()
+                .filter(|folder| folder.exists())
+            {
                 fs::remove_dir_all(folder)?;
             }
             hosts.boot(i)?;
@@ -57,7 +60,10 @@
     }
 
     fn boot(&self, i: usize) -> io::Result<()> {
-        fs::write(self.dir.join(format!("boot-{i}")), format!("{} of host {i}", self.boots[i]))
+        fs::write(
+            self.dir.join(format!("boot-{i}")),
+            format!("{} of host {i}", self.boots[i]),
+        )
     }
 
     fn store(&self, i: usize) -> PathBuf {
@@ -96,10 +102,18 @@
     }
 
     /// They start, cold, and the list service hears of it in its own time.
-    pub fn servers_on(&self, fleet: &Arc<Fleet>, list: &ListService, servers: &[usize]) -> io::Result<()> {
+    pub fn servers_on(
+        &self,
+        fleet: &Arc<Fleet>,
+        list: &ListService,
+        servers: &[usize],
+    ) -> io::Result<()> {
         for id in servers.iter().map(|id| *id as u32) {
             fleet.restart(id)?;
-            let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+            let started = SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap_or_default()
+                .as_millis() as u64;
             let address = fleet.servers[id as usize].address;
             list.change(entry(&fleet.config, id, address, State::Ready, started));
         }
@@ -108,7 +122,9 @@
 
     /// Copies disks as they are now.
     pub fn copy(&self, fronts: &[usize]) -> io::Result<()> {
-        fronts.iter().try_for_each(|i| replace(&self.store(*i), &self.copied(*i)))
+        fronts
+            .iter()
+            .try_for_each(|i| replace(&self.store(*i), &self.copied(*i)))
     }
 
     pub fn spoil(&self, fronts: &[usize], spoil: Spoil) -> io::Result<()> {
--- a/crates/lab/src/import.rs
+++ b/crates/lab/src/import.rs
@@ -153,7 +153,8 @@
 /// # Errors
 /// It is no day file, or of a form that is not known.
 pub fn import(json: &str, name: &str, fleet_name: &str, fit: Fit) -> Result<Imported, String> {
-    let day: Bench = serde_json::from_str(json).map_err(|e| format!("no day file of the bench: {e}"))?;
+    let day: Bench =
+        serde_json::from_str(json).map_err(|e| format!("no day file of the bench: {e}"))?;
     let tier = day.tiers.first().ok_or("the day has no tier of servers")?;
     let machine = tier.kinds.first().ok_or("the day has no kind of servers")?;
     let have = day.servers.len() as u32;
@@ -165,8 +166,10 @@
     let cells = day.fam.cells.min(servers);
     let fronts = (day.balancers.len() as u32).min(fit.fronts.max(1));
     let fleet = fleet(&day, tier, machine, cells, servers, fit);
-    let mut text =
-        format!("# From the bench's day: {}, {}. Rates are {} of its own.\n", day.site, day.kind, fit.rates);
+    let mut text = format!(
+        "# From the bench's day: {}, {}. Rates are {} of its own.\n",
+        day.site, day.kind, fit.rates
+    );
     let _ = writeln!(text, "name: {name:?}\nlength: \"{}ms\"", day.length / 1000);
     let _ = writeln!(text, "fronts: {fronts}\nfleet: {fleet_name:?}");
     let work = day.classes.iter().map(|c| c.work * c.share).sum::<f64>();
@@ -195,7 +198,11 @@
             }
         }
     }
-    Ok(Imported { day: text, fleet, left_out })
+    Ok(Imported {
+        day: text,
+        fleet,
+        left_out,
+    })
 }
 
 /// The faults of a trouble; none where it falls on nothing that is left of the fleet, `None` where it has no like.
@@ -204,10 +211,16 @@
         let mut ids: Vec<u32> = ids.iter().map(|id| id % most).collect();
         ids.sort_unstable();
         ids.dedup();
-        ids.iter().map(u32::to_string).collect::<Vec<_>>().join(", ")
+        ids.iter()
+            .map(u32::to_string)
+            .collect::<Vec<_>>()
+            .join(", ")
     };
     let fault = |at: u64, len: u64, what: &str| {
-        format!("fault {{ at: \"{at}us\" length: \"{}us\" {what} }}", len.max(1))
+        format!(
+            "fault {{ at: \"{at}us\" length: \"{}us\" {what} }}",
+            len.max(1)
+        )
     };
     let one = |what: String| Some(vec![fault(t.at, t.len, &what)]);
     let here = format!("server: [{}]", on(&t.on, servers));
@@ -215,27 +228,47 @@
         "hang" => one(format!("{here} hang {{}}")),
         "vanish" => one(format!("{here} vanish {{}}")),
         "crash" => one(format!("{here} crash {{}}")),
-        "fast_errors" => one(format!("{here} fast_errors {{ part: {:.3} }}", t.size.clamp(0.0, 1.0))),
+        "fast_errors" => one(format!(
+            "{here} fast_errors {{ part: {:.3} }}",
+            t.size.clamp(0.0, 1.0)
+        )),
         "shared_slow" => one(format!("slow {{ by: {:.3} }}", t.size)),
         "burst" => one(format!("burst {{ times: {:.3} }}", t.size)),
-        "hot_key" => one(format!("crowd {{ title: 0 part: {:.3} }}", t.size.clamp(0.0, 1.0))),
+        "hot_key" => one(format!(
+            "crowd {{ title: 0 part: {:.3} }}",
+            t.size.clamp(0.0, 1.0)
+        )),
         "discovery_stale" => one(format!("list_late {{ by: \"{:.3}s\" }}", t.size)),
         "zone_loss" => {
             let zone = day.zones.get(t.which)?;
-            one(format!("zone: {zone:?} {} {{}}", if t.extra > 0.5 { "vanish" } else { "crash" }))
+            one(format!(
+                "zone: {zone:?} {} {{}}",
+                if t.extra > 0.5 { "vanish" } else { "crash" }
+            ))
         }
         "balancer_stall" => {
             let (length, pause) = ((t.size * 1000.0) as u64, (t.extra * 1e6).max(1.0) as u64);
             let starts = (t.at..t.at + t.len).step_by(pause as usize);
             let stall = format!("stall {{ front: [{}] }}", on(&t.on, fronts));
-            Some(starts.map(|at| fault(at, length.min(pause * 9 / 10), &stall)).collect())
+            Some(
+                starts
+                    .map(|at| fault(at, length.min(pause * 9 / 10), &stall))
+                    .collect(),
+            )
         }
         "deploy" => {
             let length = (t.extra * 1e6) as u64;
-            let stops = t.steps.iter().filter(|s| s.stop.iter().any(|id| *id < servers));
+            let stops = t
+                .steps
+                .iter()
+                .filter(|s| s.stop.iter().any(|id| *id < servers));
             let step = |s: &Step| {
                 let ids: Vec<u32> = s.stop.iter().copied().filter(|id| *id < servers).collect();
-                fault(s.at, length, &format!("server: [{}] drain {{}}", on(&ids, servers)))
+                fault(
+                    s.at,
+                    length,
+                    &format!("server: [{}] drain {{}}", on(&ids, servers)),
+                )
             };
             Some(stops.map(step).collect())
         }
@@ -243,7 +276,14 @@
     }
 }
 
-fn fleet(day: &Bench, tier: &Tier, machine: &Machine, cells: u32, servers: u32, fit: Fit) -> String {
+fn fleet(
+    day: &Bench,
+    tier: &Tier,
+    machine: &Machine,
+    cells: u32,
+    servers: u32,
+    fit: Fit,
+) -> String {
     let fam = &day.fam;
     let zones: Vec<String> = day.zones.iter().map(|z| format!("{z:?}")).collect();
     let racks = fam.racks.min(cells);
@@ -265,15 +305,27 @@
     );
     t.push_str("ladder {\n");
     for (rate, worth) in fam.rates.iter().zip(&fam.worth) {
-        let _ = writeln!(t, "  rung {{ rate: \"{:.3}kB/s\" worth: {worth} }}", rate * fit.rates);
+        let _ = writeln!(
+            t,
+            "  rung {{ rate: \"{:.3}kB/s\" worth: {worth} }}",
+            rate * fit.rates
+        );
     }
-    let _ = writeln!(t, "  shortfall_cost: {}\n  switch_seconds: {}\n}}", fam.stall, fam.switch_s);
+    let _ = writeln!(
+        t,
+        "  shortfall_cost: {}\n  switch_seconds: {}\n}}",
+        fam.stall, fam.switch_s
+    );
     let rungs = fam.rates.len() as u32;
     for (class, terms) in day.classes.iter().zip(&fam.uses) {
         let effect = match class.effect.as_str() {
             "unsafe" => "PAID".to_owned(),
             "keyed" => {
-                format!("GUARDED group: {} repeat_within: \"{}us\"", class.group.to_uppercase(), class.window)
+                format!(
+                    "GUARDED group: {} repeat_within: \"{}us\"",
+                    class.group.to_uppercase(),
+                    class.window
+                )
             }
             _ => "FREE".to_owned(),
         };
@@ -304,12 +356,21 @@
         day.fall_for
     );
     // Bounds of sockets are no part of a day file.
-    let limits =
-        crate::script::FLEET.split("limits {").nth(1).and_then(|l| l.split('}').next()).unwrap_or("");
+    let limits = crate::script::FLEET
+        .split("limits {")
+        .nth(1)
+        .and_then(|l| l.split('}').next())
+        .unwrap_or("");
     let _ = writeln!(t, "limits {{{limits}}}");
-    let copies = (fam.copies.round() as u32 + 2).clamp(3, cells.max(3)).min(cells);
+    let copies = (fam.copies.round() as u32 + 2)
+        .clamp(3, cells.max(3))
+        .min(cells);
     for n in 0..fam.titles.max(1) {
-        let _ = writeln!(t, "title {{ name: \"t{n:04}\" first_cell: {} copies: {copies} }}", (n * 5) % cells);
+        let _ = writeln!(
+            t,
+            "title {{ name: \"t{n:04}\" first_cell: {} copies: {copies} }}",
+            (n * 5) % cells
+        );
     }
     t
 }
@@ -343,7 +404,11 @@
     }
 
     fn read(json: &str) -> (Imported, script::Day) {
-        let fit = Fit { rates: 0.1, servers: 6, fronts: 3 };
+        let fit = Fit {
+            rates: 0.1,
+            servers: 6,
+            fronts: 3,
+        };
         let imported = import(json, "x", "x-fleet", fit).unwrap();
         let day = script::parse(&imported.day, |_| Ok(imported.fleet.clone()));
         let day = day.unwrap_or_else(|p| panic!("{p:?}\n{}\n{}", imported.day, imported.fleet));
@@ -371,7 +436,10 @@
             assert_eq!(day.faults[0].kind, want, "{kind}");
         }
         let (imported, day) = read(&sample(&trouble("tenant_burst", 2.0, 1.0)));
-        assert_eq!((imported.left_out, day.faults.len()), (vec!["tenant_burst".to_owned()], 0));
+        assert_eq!(
+            (imported.left_out, day.faults.len()),
+            (vec!["tenant_burst".to_owned()], 0)
+        );
     }
 
     #[test]
@@ -381,7 +449,23 @@
         assert_eq!((day.rate, day.fronts, day.servers), (2.0, 3, 6));
         assert_eq!(config.settings.rung_kb, [20.0, 50.0, 150.0]);
         assert_eq!(config.settings.link_kb, 600.0);
-        assert_eq!((config.settings.classes[1].floor, config.settings.classes[1].seats), (1, 3));
-        assert!(import("{}", "x", "y", Fit { rates: 1.0, servers: 1, fronts: 1 }).is_err());
+        assert_eq!(
+            (
+                config.settings.classes[1].floor,
+                config.settings.classes[1].seats
+            ),
+            (1, 3)
+        );
+        assert!(import(
+            "{}",
+            "x",
+            "y",
+            Fit {
+                rates: 1.0,
+                servers: 1,
+                fronts: 1
+            }
+        )
+        .is_err());
     }
 }
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -60,7 +60,9 @@
             cold_share: s.cold_share,
             fall_multiple: s.fall_multiple,
             fall: s.fall,
-            retry: s.extra_floor.map(|floor| (floor, s.extra_share, s.extra_window)),
+            retry: s
+                .extra_floor
+                .map(|floor| (floor, s.extra_share, s.extra_window)),
             blur,
         }
     }
@@ -99,15 +101,28 @@
 impl Verdict {
     /// How many of the six rules were kept.
     pub fn kept(&self) -> usize {
-        6 - self.breaches.iter().map(|b| b.rule).collect::<BTreeSet<_>>().len()
+        6 - self
+            .breaches
+            .iter()
+            .map(|b| b.rule)
+            .collect::<BTreeSet<_>>()
+            .len()
     }
 }
 
 impl fmt::Display for Verdict {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Verdict { sessions, answered_once, billed_twice, .. } = self;
+        let Verdict {
+            sessions,
+            answered_once,
+            billed_twice,
+            ..
+        } = self;
         let kept = self.kept();
-        write!(f, "sessions {sessions}, answered once {answered_once}, billed twice {billed_twice}, ")?;
+        write!(
+            f,
+            "sessions {sessions}, answered once {answered_once}, billed twice {billed_twice}, "
+        )?;
         write!(f, "rules kept {kept}/6")
     }
 }
@@ -168,8 +183,22 @@
         for Record { at, seen } in self.records {
             match seen {
                 Seen::Asked { front, bill, .. } => drop(numbers.insert(bill, *front)),
-                Seen::SetUp { name, server, front, bill, class, title, .. } => {
-                    let session = Session { server: *server, front, bill, class, title };
+                Seen::SetUp {
+                    name,
+                    server,
+                    front,
+                    bill,
+                    class,
+                    title,
+                    ..
+                } => {
+                    let session = Session {
+                        server: *server,
+                        front,
+                        bill,
+                        class,
+                        title,
+                    };
                     if self.sessions.insert(name, session).is_some() {
                         self.breach(2, *at, format!("session {name} was sent twice"));
                     }
@@ -209,9 +238,23 @@
         let mut strange = Vec::new();
         for Record { at, seen } in self.records {
             match seen {
-                Seen::Asked { call, front, gives_up, .. } => {
+                Seen::Asked {
+                    call,
+                    front,
+                    gives_up,
+                    ..
+                } => {
                     let (at, front, gives_up) = (*at, *front, *gives_up);
-                    calls.insert(*call, Asked { at, front, gives_up, told: vec![], broke: false });
+                    calls.insert(
+                        *call,
+                        Asked {
+                            at,
+                            front,
+                            gives_up,
+                            told: vec![],
+                            broke: false,
+                        },
+                    );
                 }
                 Seen::Told { call, told } => match calls.get_mut(call) {
                     Some(asked) => asked.told.push((*at, *told)),
@@ -224,15 +267,25 @@
             }
         }
         for (at, call) in strange {
-            self.breach(1, at, format!("an answer to call {call}, which was never made"));
+            self.breach(
+                1,
+                at,
+                format!("an answer to call {call}, which was never made"),
+            );
         }
         self.verdict.sessions = calls.len();
         for (call, asked) in &calls {
-            let excused = overlaps(self.stalls_by_number.get(&asked.front), asked.at, asked.gives_up);
+            let excused = overlaps(
+                self.stalls_by_number.get(&asked.front),
+                asked.at,
+                asked.gives_up,
+            );
             // Who was killed owes nothing more; who asked may have been heard of just after.
             let during = asked.at.saturating_sub(self.rules.blur)..=asked.gives_up;
-            let died =
-                self.deaths.get(&asked.front).is_some_and(|all| all.iter().any(|at| during.contains(at)));
+            let died = self
+                .deaths
+                .get(&asked.front)
+                .is_some_and(|all| all.iter().any(|at| during.contains(at)));
             match asked.told[..] {
                 [] if asked.broke || died => {}
                 [] => {
@@ -274,19 +327,31 @@
             out: Option<(&'a str, u64)>, // An attempt without a reply.
             overlap: Option<(&'a str, &'a str, u64)>,
         }
-        let paid: BTreeSet<&str> =
-            self.rules.classes.iter().filter(|c| c.paid).map(|c| c.name.as_str()).collect();
+        let paid: BTreeSet<&str> = self
+            .rules
+            .classes
+            .iter()
+            .filter(|c| c.paid)
+            .map(|c| c.name.as_str())
+            .collect();
         let paid_number: Vec<bool> = self.rules.classes.iter().map(|c| c.paid).collect();
         let mut bills: HashMap<&str, Bill> = HashMap::new();
         let mut calls: HashMap<u64, (&str, u8)> = HashMap::new();
         let mut breaches = Vec::new();
         for Record { at, seen } in self.records {
             match seen {
-                Seen::Asked { call, bill, class, .. } => drop(calls.insert(*call, (bill, *class))),
-                Seen::SetUp { name, bill, class, .. } => {
+                Seen::Asked {
+                    call, bill, class, ..
+                } => drop(calls.insert(*call, (bill, *class))),
+                Seen::SetUp {
+                    name, bill, class, ..
+                } => {
                     let state = bills.entry(bill).or_default();
                     if paid.contains(class.as_str()) && state.ran {
-                        breaches.push((*at, format!("bill {bill} was sent again though it may have run")));
+                        breaches.push((
+                            *at,
+                            format!("bill {bill} was sent again though it may have run"),
+                        ));
                     }
                     if let Some((other, _)) = state.out.replace((name, *at)) {
                         state.overlap = Some((other, name, *at));
@@ -301,32 +366,50 @@
                     }
                 }
                 Seen::Replied { name, reply } => {
-                    let Some(bill) = self.sessions.get(name.as_str()).map(|s| s.bill) else { continue };
+                    let Some(bill) = self.sessions.get(name.as_str()).map(|s| s.bill) else {
+                        continue;
+                    };
                     let state = bills.entry(bill).or_default();
                     state.ran |= *reply != Reply::Full;
                     state.out = state.out.filter(|(n, _)| n != name);
-                    if let Some((first, second, since)) = state.overlap.take_if(|(first, ..)| first == name) {
+                    if let Some((first, second, since)) =
+                        state.overlap.take_if(|(first, ..)| first == name)
+                    {
                         // An end of the connection may be seen by the front before the stand-in has noted it, or
                         // have been made by the front and read here later: so much may be blurred.
                         let ended = matches!(reply, Reply::Left | Reply::Reset);
                         if !ended || at - since > self.rules.blur {
-                            breaches
-                                .push((since, format!("attempts {first} and {second} were out together")));
+                            breaches.push((
+                                since,
+                                format!("attempts {first} and {second} were out together"),
+                            ));
                         }
                     }
                 }
                 // Told by the server's own book, after an end that is final.
                 Seen::Disowned { name } => {
-                    let Some(bill) = self.sessions.get(name.as_str()).map(|s| s.bill) else { continue };
+                    let Some(bill) = self.sessions.get(name.as_str()).map(|s| s.bill) else {
+                        continue;
+                    };
                     let state = bills.entry(bill).or_default();
                     state.ran &= state.billed > 0;
                 }
-                Seen::Told { call, told: Told::Refused } => {
-                    let Some((bill, class)) = calls.get(call) else { continue };
-                    let is_paid = paid_number.get(usize::from(*class)).copied().unwrap_or(false);
+                Seen::Told {
+                    call,
+                    told: Told::Refused,
+                } => {
+                    let Some((bill, class)) = calls.get(call) else {
+                        continue;
+                    };
+                    let is_paid = paid_number
+                        .get(usize::from(*class))
+                        .copied()
+                        .unwrap_or(false);
                     if is_paid && bills.get(bill).is_some_and(|b| b.ran || b.out.is_some()) {
-                        breaches
-                            .push((*at, format!("call {call} was refused though bill {bill} may have run")));
+                        breaches.push((
+                            *at,
+                            format!("call {call} was refused though bill {bill} may have run"),
+                        ));
                     }
                 }
                 _ => {}
@@ -334,11 +417,15 @@
         }
         for (bill, state) in bills {
             if let Some((first, second, since)) = state.overlap {
-                breaches
-                    .push((since, format!("bill {bill}: attempts {first} and {second} were out together")));
+                breaches.push((
+                    since,
+                    format!("bill {bill}: attempts {first} and {second} were out together"),
+                ));
             }
         }
-        breaches.into_iter().for_each(|(at, what)| self.breach(2, at, what));
+        breaches
+            .into_iter()
+            .for_each(|(at, what)| self.breach(2, at, what));
     }
 
     /// Rule 3: nothing new goes to a server after the grace.
@@ -347,28 +434,51 @@
         let mut breaches = Vec::new();
         for Record { at, seen } in self.records {
             match seen {
-                Seen::Listed { front, server, ready: true } => drop(told.remove(&(front.as_str(), *server))),
-                Seen::Listed { front, server, ready: false } => {
+                Seen::Listed {
+                    front,
+                    server,
+                    ready: true,
+                } => drop(told.remove(&(front.as_str(), *server))),
+                Seen::Listed {
+                    front,
+                    server,
+                    ready: false,
+                } => {
                     told.entry((front, *server)).or_insert(*at);
                 }
-                Seen::SetUp { front, server, name, .. } => {
-                    let Some(since) = told.get(&(front.as_str(), *server)) else { continue };
+                Seen::SetUp {
+                    front,
+                    server,
+                    name,
+                    ..
+                } => {
+                    let Some(since) = told.get(&(front.as_str(), *server)) else {
+                        continue;
+                    };
                     let bound = since + self.rules.drain_grace;
                     let stood = self.stalls.get(front.as_str());
                     // What lay unread while the front stood was not heard yet.
-                    let heard = stood.into_iter().flatten().filter(|(a, b)| *a <= bound && *b >= *since);
-                    let heard = heard.map(|(_, b)| b.saturating_add(self.rules.drain_grace)).max();
+                    let heard = stood
+                        .into_iter()
+                        .flatten()
+                        .filter(|(a, b)| *a <= bound && *b >= *since);
+                    let heard = heard
+                        .map(|(_, b)| b.saturating_add(self.rules.drain_grace))
+                        .max();
                     if *at > bound.max(heard.unwrap_or(0)) + self.rules.blur {
                         let late = (at - since) / 1_000_000;
-                        let what =
-                            format!("session {name} was sent to server {server} {late} ms after its drain");
+                        let what = format!(
+                            "session {name} was sent to server {server} {late} ms after its drain"
+                        );
                         breaches.push((*at, what));
                     }
                 }
                 _ => {}
             }
         }
-        breaches.into_iter().for_each(|(at, what)| self.breach(3, at, what));
+        breaches
+            .into_iter()
+            .for_each(|(at, what)| self.breach(3, at, what));
     }
 
     /// Rule 4: a cold server is not pushed over by all fronts together, as far as they knew.
@@ -384,12 +494,17 @@
                     sent.remove(server);
                 }
                 Seen::Listed { front, server, .. } => drop(knew.insert((*server, front))),
-                Seen::Replied { name, reply: Reply::Reset } => {
+                Seen::Replied {
+                    name,
+                    reply: Reply::Reset,
+                } => {
                     let of = self.sessions.get(name.as_str());
                     knew.extend(of.map(|s| (s.server, s.front)));
                 }
                 Seen::SetUp { server, front, .. } => {
-                    let Some((start, places)) = starts.get(server) else { continue };
+                    let Some((start, places)) = starts.get(server) else {
+                        continue;
+                    };
                     let age = at - start;
                     if age >= self.rules.cold {
                         continue;
@@ -401,20 +516,28 @@
                     let warmth = self.rules.cold_share + (1.0 - self.rules.cold_share) * part;
                     let pace = places / self.rules.cold as f64 * warmth;
                     let bound = self.rules.fall_multiple * pace * self.rules.fall as f64 + 1.0;
-                    let knowing = sends.iter().filter(|(_, f)| knew.contains(&(*server, f))).count();
+                    let knowing = sends
+                        .iter()
+                        .filter(|(_, f)| knew.contains(&(*server, f)))
+                        .count();
                     if sends.len() as f64 > bound && 2 * knowing > sends.len() {
                         let count = sends.len();
-                        let what =
-                            format!("cold server {server} was sent {count} set-ups, {bound:.1} allowed");
+                        let what = format!(
+                            "cold server {server} was sent {count} set-ups, {bound:.1} allowed"
+                        );
                         breaches.push((*at, what));
                         sends.clear();
                     }
                 }
-                Seen::Fell { server } => breaches.push((*at, format!("cold server {server} fell over"))),
+                Seen::Fell { server } => {
+                    breaches.push((*at, format!("cold server {server} fell over")))
+                }
                 _ => {}
             }
         }
-        breaches.into_iter().for_each(|(at, what)| self.breach(4, at, what));
+        breaches
+            .into_iter()
+            .for_each(|(at, what)| self.breach(4, at, what));
     }
 
     /// Rule 5: floors and seats.
@@ -425,15 +548,23 @@
         for Record { at, seen } in self.records {
             match seen {
                 Seen::SetUp { name, rung, .. } | Seen::Rung { name, rung } => {
-                    let Some(s) = self.sessions.get(name.as_str()) else { continue };
+                    let Some(s) = self.sessions.get(name.as_str()) else {
+                        continue;
+                    };
                     let Some(rule) = class(s.class) else {
-                        breaches.push((*at, format!("session {name} is of unknown class {:?}", s.class)));
+                        breaches.push((
+                            *at,
+                            format!("session {name} is of unknown class {:?}", s.class),
+                        ));
                         continue;
                     };
                     if *rung < rule.floor {
                         breaches.push((
                             *at,
-                            format!("session {name} at rung {rung}, under the floor {}", rule.floor),
+                            format!(
+                                "session {name} at rung {rung}, under the floor {}",
+                                rule.floor
+                            ),
                         ));
                     }
                     if rule.seats > 0 && matches!(seen, Seen::SetUp { .. }) {
@@ -441,7 +572,8 @@
                         seats.insert(name);
                         if seats.len() > rule.seats as usize {
                             let count = seats.len();
-                            let what = format!("{count} sessions of {:?}, {} seats", s.title, rule.seats);
+                            let what =
+                                format!("{count} sessions of {:?}, {} seats", s.title, rule.seats);
                             breaches.push((*at, what));
                         }
                     }
@@ -453,12 +585,16 @@
                 _ => {}
             }
         }
-        breaches.into_iter().for_each(|(at, what)| self.breach(5, at, what));
+        breaches
+            .into_iter()
+            .for_each(|(at, what)| self.breach(5, at, what));
     }
 
     /// Rule 6: further attempts stay within their budget, where one is set.
     fn attempts(&mut self) {
-        let Some((floor, share, window)) = self.rules.retry else { return };
+        let Some((floor, share, window)) = self.rules.retry else {
+            return;
+        };
         let mut asked: HashMap<&str, usize> = HashMap::new(); // By bill: requests not yet sent for.
         let mut taken: BTreeMap<u32, Vec<u64>> = BTreeMap::new();
         let mut number: HashMap<&str, u32> = HashMap::new();
@@ -473,7 +609,9 @@
                 }
                 Seen::SetUp { bill, .. } => {
                     let first = asked.get_mut(bill.as_str()).filter(|n| **n > 0);
-                    let Some(front) = number.get(bill.as_str()) else { continue };
+                    let Some(front) = number.get(bill.as_str()) else {
+                        continue;
+                    };
                     if let Some(left) = first {
                         *left -= 1;
                         continue;
@@ -494,7 +632,9 @@
                 _ => {}
             }
         }
-        breaches.into_iter().for_each(|(at, what)| self.breach(6, at, what));
+        breaches
+            .into_iter()
+            .for_each(|(at, what)| self.breach(6, at, what));
     }
 }
 
@@ -502,7 +642,10 @@
 
 fn leave(held: &mut Held<'_>, sessions: &HashMap<&str, Session<'_>>, name: &str) {
     if let Some(s) = sessions.get(name) {
-        if let Some(seats) = held.iter_mut().find(|(k, _)| **k == (s.front, s.class, s.title)) {
+        if let Some(seats) = held
+            .iter_mut()
+            .find(|(k, _)| **k == (s.front, s.class, s.title))
+        {
             seats.1.remove(name);
         }
     }
--- a/crates/lab/src/ledger.rs
+++ b/crates/lab/src/ledger.rs
@@ -12,7 +12,11 @@
 
 impl Ledger {
     pub fn new(boot: u64) -> Ledger {
-        Ledger { boots: vec![boot.to_string()], ran: BTreeMap::new(), names: BTreeSet::new() }
+        Ledger {
+            boots: vec![boot.to_string()],
+            ran: BTreeMap::new(),
+            names: BTreeSet::new(),
+        }
     }
 
     pub fn started(&mut self, boot: u64) {
@@ -31,7 +35,10 @@
 
     pub fn ran(&mut self, name: &str, order: &Order) {
         self.names.insert(name.to_owned());
-        let ran = Ran { bill: order.bill.clone(), tenant: order.tenant.clone() };
+        let ran = Ran {
+            bill: order.bill.clone(),
+            tenant: order.tenant.clone(),
+        };
         self.ran.entry(order.front.clone()).or_default().push(ran);
     }
 
--- a/crates/lab/src/list_service.rs
+++ b/crates/lab/src/list_service.rs
@@ -41,10 +41,25 @@
 }
 
 /// An entry for a stand-in server.
-pub fn entry(config: &Config, id: u32, address: SocketAddr, state: State, started_ms: u64) -> Entry {
+pub fn entry(
+    config: &Config,
+    id: u32,
+    address: SocketAddr,
+    state: State,
+    started_ms: u64,
+) -> Entry {
     let zone = config.zones[id as usize % config.zones.len()].clone();
     let cell = (id % config.settings.cells) as u16;
-    Entry { id, zone, kind: config.kinds[0].clone(), cell, state, weight: 1.0, started_ms, address }
+    Entry {
+        id,
+        zone,
+        kind: config.kinds[0].clone(),
+        cell,
+        state,
+        weight: 1.0,
+        started_ms,
+        address,
+    }
 }
 
 impl ListService {
@@ -52,9 +67,16 @@
     ///
     /// # Errors
     /// No port can be listened on.
-    pub fn start(servers: Vec<Entry>, delay: u64, recorder: Recorder) -> io::Result<Arc<ListService>> {
+    pub fn start(
+        servers: Vec<Entry>,
+        delay: u64,
+        recorder: Recorder,
+    ) -> io::Result<Arc<ListService>> {
         let listener = listen(([127, 0, 0, 1], 0).into())?;
-        let known = Known { list: List { serial: 1, servers }, ..Known::default() };
+        let known = Known {
+            list: List { serial: 1, servers },
+            ..Known::default()
+        };
         let service = Arc::new(ListService {
             address: listener.local_addr()?,
             recorder,
@@ -63,7 +85,9 @@
             gone: AtomicBool::new(false),
         });
         let of_fronts = service.clone();
-        accept_each(listener, Arc::default(), move |socket| of_fronts.serve(Arc::new(socket)));
+        accept_each(listener, Arc::default(), move |socket| {
+            of_fronts.serve(Arc::new(socket))
+        });
         let teller = service.clone();
         spawn(Stack::Usual, move || {
             let mut beat = 0;
@@ -87,7 +111,10 @@
     pub fn set_gone(&self, gone: bool) {
         self.gone.store(gone, Ordering::Release);
         if gone {
-            lock(&self.known).fronts.drain(..).for_each(|(_, outbox)| outbox.socket().shut());
+            lock(&self.known)
+                .fronts
+                .drain(..)
+                .for_each(|(_, outbox)| outbox.socket().shut());
         }
     }
 
@@ -106,7 +133,9 @@
             due.extend(ripe.then(|| entry.clone()));
             !ripe
         });
-        known.fronts.retain(|(_, outbox)| !outbox.socket().is_shut());
+        known
+            .fronts
+            .retain(|(_, outbox)| !outbox.socket().is_shut());
         if beats && !self.gone.load(Ordering::Acquire) {
             for (_, outbox) in &known.fronts {
                 outbox.push(sse::HEARTBEAT);
@@ -118,9 +147,18 @@
         known.list.serial += 1;
         for entry in &due {
             known.list.servers.retain(|e| e.id != entry.id);
-            known.list.servers.extend((entry.state != State::Gone).then(|| entry.clone()));
+            known
+                .list
+                .servers
+                .extend((entry.state != State::Gone).then(|| entry.clone()));
         }
-        let delta = list::write(RosterKind::Delta, &List { serial: known.list.serial, servers: due.clone() });
+        let delta = list::write(
+            RosterKind::Delta,
+            &List {
+                serial: known.list.serial,
+                servers: due.clone(),
+            },
+        );
         for (front, outbox) in &known.fronts {
             outbox.push(&delta);
             due.iter().for_each(|entry| self.listed(front, entry));
@@ -129,23 +167,39 @@
 
     fn listed(&self, front: &str, entry: &Entry) {
         let ready = entry.state == State::Ready;
-        self.recorder.see(Seen::Listed { front: front.to_owned(), server: entry.id, ready });
+        self.recorder.see(Seen::Listed {
+            front: front.to_owned(),
+            server: entry.id,
+            ready,
+        });
     }
 
     fn serve(&self, socket: Arc<Socket>) {
         let mut wire = Wire::new(socket.clone());
-        let Ok((request, _)) = wire.request(1024, 0) else { return };
-        let front = request.path().1.strip_prefix("front=").unwrap_or("").to_owned();
+        let Ok((request, _)) = wire.request(1024, 0) else {
+            return;
+        };
+        let front = request
+            .path()
+            .1
+            .strip_prefix("front=")
+            .unwrap_or("")
+            .to_owned();
         if self.gone.load(Ordering::Acquire) || request.path().0 != "/servers/events" {
             return;
         }
         let outbox = Arc::new(Outbox::new(socket.clone(), 1 << 20));
-        let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n";
+        let head =
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n";
         {
             let mut known = lock(&self.known);
             let whole = list::write(RosterKind::Full, &known.list);
             outbox.push(&[head.as_bytes(), &whole].concat());
-            known.list.servers.iter().for_each(|entry| self.listed(&front, entry));
+            known
+                .list
+                .servers
+                .iter()
+                .for_each(|entry| self.listed(&front, entry));
             known.fronts.push((front, outbox.clone()));
         }
         outbox.until_closed(); // Nothing more comes from the front but its end.
--- a/crates/lab/src/losses.rs
+++ b/crates/lab/src/losses.rs
@@ -40,7 +40,8 @@
 
     /// Of those in such a class who lost it: how many watch again, how many left without, and how many there are.
     pub fn count(&self, of: impl Fn(u8) -> bool) -> (u64, u64, u64) {
-        let count = |all: &BTreeMap<u64, u8>| all.values().filter(|class| of(**class)).count() as u64;
+        let count =
+            |all: &BTreeMap<u64, u8>| all.values().filter(|class| of(**class)).count() as u64;
         let (again, left) = (count(&self.again), count(&self.left));
         (again, left, again + left + count(&self.lost))
     }
@@ -63,7 +64,10 @@
         l.watches(1, 1);
         l.leaves(2);
         l.leaves(5);
-        assert_eq!((l.count(|_| true), l.count(|class| class == 1)), ((1, 1, 4), (1, 0, 2)));
+        assert_eq!(
+            (l.count(|_| true), l.count(|class| class == 1)),
+            ((1, 1, 4), (1, 0, 2))
+        );
         l.is_cut_off(1, 1);
         assert_eq!(l.count(|_| true), (0, 1, 4));
     }
--- a/crates/lab/src/mesh.rs
+++ b/crates/lab/src/mesh.rs
@@ -59,10 +59,17 @@
         let mut sockets: Sockets = Vec::new();
         let poll = epoll::create(CreateFlags::CLOEXEC)?;
         for (from, to) in (0..size).flat_map(|a| (0..size).map(move |b| (a, b))) {
-            let socket = (from != to).then(|| UdpSocket::bind("127.0.0.1:0")).transpose()?;
+            let socket = (from != to)
+                .then(|| UdpSocket::bind("127.0.0.1:0"))
+                .transpose()?;
             if let Some(socket) = &socket {
                 socket.set_nonblocking(true)?;
-                epoll::add(&poll, socket, EventData::new_u64(sockets.len() as u64), EventFlags::IN)?;
+                epoll::add(
+                    &poll,
+                    socket,
+                    EventData::new_u64(sockets.len() as u64),
+                    EventFlags::IN,
+                )?;
             }
             sockets.push(socket);
         }
@@ -84,7 +91,8 @@
         let wanted = Arc::downgrade(&changes);
         std::thread::spawn(move || {
             while let Some(changes) = wanted.upgrade() {
-                let changes = std::mem::take(&mut *changes.lock().unwrap_or_else(PoisonError::into_inner));
+                let changes =
+                    std::mem::take(&mut *changes.lock().unwrap_or_else(PoisonError::into_inner));
                 changes.into_iter().for_each(|change| change(&mut carrier));
                 if let Err(e) = carrier.step() {
                     // The fronts find that nobody hears them, and the claims fail.
@@ -92,7 +100,12 @@
                 }
             }
         });
-        Ok(Mesh { size, addresses, changes, sent })
+        Ok(Mesh {
+            size,
+            addresses,
+            changes,
+            sent,
+        })
     }
 
     /// Where one finds another, in its book.
@@ -102,12 +115,18 @@
 
     /// The block of a front's configuration with which it knows the others by this net.
     pub fn block(&self, front: usize, seeds: &[usize], key: &Path, probe_every: &str) -> String {
-        let seeds =
-            seeds.iter().filter_map(|seed| self.way(front, *seed)).map(|at| format!("  seed: \"{at}\"\n"));
+        let seeds = seeds
+            .iter()
+            .filter_map(|seed| self.way(front, *seed))
+            .map(|at| format!("  seed: \"{at}\"\n"));
         let way = |to: usize| {
-            Some(format!("  way {{ name: \"front-{to}\" address: \"{}\" }}\n", self.way(front, to)?))
+            Some(format!(
+                "  way {{ name: \"front-{to}\" address: \"{}\" }}\n",
+                self.way(front, to)?
+            ))
         };
-        let (seeds, ways): (String, String) = (seeds.collect(), (0..self.size).filter_map(way).collect());
+        let (seeds, ways): (String, String) =
+            (seeds.collect(), (0..self.size).filter_map(way).collect());
         format!(
             "peers {{\n  name: \"front-{front}\"\n  listen: \"127.0.0.1:0\"\n  key_file: {key:?}\n  \
              probe_every: {probe_every:?}\n{seeds}{ways}}}\n"
@@ -115,7 +134,10 @@
     }
 
     fn tell(&self, change: Change) {
-        self.changes.lock().unwrap_or_else(PoisonError::into_inner).push(change);
+        self.changes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(change);
     }
 
     /// Changes what becomes of datagrams that are read from now on, some milliseconds late.
@@ -130,9 +152,9 @@
 
     /// Datagrams and bytes that a front sent.
     pub fn sent(&self, front: usize) -> (u64, u64) {
-        self.sent
-            .get(front)
-            .map_or((0, 0), |(n, bytes)| (n.load(Ordering::Relaxed), bytes.load(Ordering::Relaxed)))
+        self.sent.get(front).map_or((0, 0), |(n, bytes)| {
+            (n.load(Ordering::Relaxed), bytes.load(Ordering::Relaxed))
+        })
     }
 }
 
@@ -154,11 +176,21 @@
 impl Carrier {
     /// Waits until something is there or due, for [`LOOK`] at most, and carries it on.
     fn step(&mut self) -> io::Result<()> {
-        let due = self.under_way.peek().map_or(u64::MAX, |Reverse((at, ..))| *at);
+        let due = self
+            .under_way
+            .peek()
+            .map_or(u64::MAX, |Reverse((at, ..))| *at);
         let wait = due.saturating_sub(clock::now()).min(LOOK);
         let mut events = Vec::with_capacity(BATCH);
-        let timeout = Timespec { tv_sec: 0, tv_nsec: wait as _ };
-        match epoll::wait(&self.poll, rustix::buffer::spare_capacity(&mut events), Some(&timeout)) {
+        let timeout = Timespec {
+            tv_sec: 0,
+            tv_nsec: wait as _,
+        };
+        match epoll::wait(
+            &self.poll,
+            rustix::buffer::spare_capacity(&mut events),
+            Some(&timeout),
+        ) {
             Ok(_) | Err(rustix::io::Errno::INTR) => {}
             Err(e) => return Err(e.into()),
         }
@@ -166,8 +198,14 @@
             self.read(event.data.u64() as usize);
         }
         let now = clock::now();
-        while self.under_way.peek().is_some_and(|Reverse((at, ..))| *at <= now) {
-            let Some(Reverse((_, _, (from, to, bytes)))) = self.under_way.pop() else { break };
+        while self
+            .under_way
+            .peek()
+            .is_some_and(|Reverse((at, ..))| *at <= now)
+        {
+            let Some(Reverse((_, _, (from, to, bytes)))) = self.under_way.pop() else {
+                break;
+            };
             self.deliver(from, to, &bytes);
         }
         Ok(())
@@ -176,16 +214,25 @@
     /// Takes all that was sent on a way. That nobody listens where something was delivered says nothing of it.
     fn read(&mut self, way: usize) {
         let (from, to, mut bytes) = (way / self.size, way % self.size, [0u8; LONGEST]);
-        let Some(socket) = &self.sockets[way] else { return };
+        let Some(socket) = &self.sockets[way] else {
+            return;
+        };
         for _ in 0..BATCH {
             match socket.recv_from(&mut bytes) {
                 Ok((n, home)) => {
                     self.sent[from].0.fetch_add(1, Ordering::Relaxed);
                     self.sent[from].1.fetch_add(n as u64, Ordering::Relaxed);
                     self.homes[from] = Some(home);
-                    for at in self.weather.arrivals(clock::now(), (from, to), n, &mut self.rng) {
+                    for at in self
+                        .weather
+                        .arrivals(clock::now(), (from, to), n, &mut self.rng)
+                    {
                         self.count += 1;
-                        self.under_way.push(Reverse((at, self.count, (from, to, bytes[..n].to_vec()))));
+                        self.under_way.push(Reverse((
+                            at,
+                            self.count,
+                            (from, to, bytes[..n].to_vec()),
+                        )));
                     }
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
@@ -195,7 +242,10 @@
     }
 
     fn deliver(&self, from: usize, to: usize, bytes: &[u8]) {
-        let back = self.sockets.get(to * self.size + from).and_then(Option::as_ref);
+        let back = self
+            .sockets
+            .get(to * self.size + from)
+            .and_then(Option::as_ref);
         if let (Some(socket), Some(home)) = (back, self.homes[to]) {
             let _ = socket.send_to(bytes, home); // What can't go out at once is lost, as on any net.
         }
--- a/crates/lab/src/model.rs
+++ b/crates/lab/src/model.rs
@@ -71,7 +71,12 @@
             streams: BTreeMap::new(),
             arrivals: VecDeque::new(),
         };
-        Model { servers: links.iter().map(server).collect(), uplinks_kb, spec, slow: 1.0 }
+        Model {
+            servers: links.iter().map(server).collect(),
+            uplinks_kb,
+            spec,
+            slow: 1.0,
+        }
     }
 
     /// Every link gives this many times less from now on; 1: as it was.
@@ -122,7 +127,10 @@
 
     /// A session's rate changes.
     pub fn set_rate(&mut self, server: usize, stream: u64, kb: f64) {
-        self.servers[server].streams.entry(stream).and_modify(|rate| *rate = kb);
+        self.servers[server]
+            .streams
+            .entry(stream)
+            .and_modify(|rate| *rate = kb);
     }
 
     /// A session or set-up is over.
@@ -150,7 +158,10 @@
 
     /// Share of their rates that sessions at a server get.
     pub fn share(&self, server: usize) -> f64 {
-        1.0 / self.link_asked(server).max(self.uplink_asked(server)).max(1.0)
+        1.0 / self
+            .link_asked(server)
+            .max(self.uplink_asked(server))
+            .max(1.0)
     }
 }
 
@@ -170,7 +181,11 @@
             fall: SECOND,
             guard: 0.0,
         };
-        Model::new(spec, &[(0, 1000.0), (0, 1000.0), (1, 1000.0)], vec![1500.0, 9000.0])
+        Model::new(
+            spec,
+            &[(0, 1000.0), (0, 1000.0), (1, 1000.0)],
+            vec![1500.0, 9000.0],
+        )
     }
 
     #[test]
@@ -193,7 +208,10 @@
     fn set_ups_queue_for_cores_and_places() {
         let mut m = model();
         let done: Vec<Taken> = (0..3).map(|n| m.set_up(0, n, 1.0, SECOND)).collect();
-        let (first, second) = (Taken::DoneAt(SECOND + SECOND / 10), Taken::DoneAt(SECOND + SECOND / 5));
+        let (first, second) = (
+            Taken::DoneAt(SECOND + SECOND / 10),
+            Taken::DoneAt(SECOND + SECOND / 5),
+        );
         assert_eq!(done, [first, first, second]);
         assert!((3..20).all(|n| m.set_up(0, n, 1.0, SECOND) != Taken::Full));
         assert_eq!(m.set_up(0, 20, 1.0, SECOND), Taken::Full);
--- a/crates/lab/src/player.rs
+++ b/crates/lab/src/player.rs
@@ -40,7 +40,10 @@
 impl Read for Stream<'_> {
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
         self.0.flush();
-        self.0.socket().try_read(buffer)?.ok_or_else(|| ErrorKind::WouldBlock.into())
+        self.0
+            .socket()
+            .try_read(buffer)?
+            .ok_or_else(|| ErrorKind::WouldBlock.into())
     }
 }
 
@@ -86,9 +89,16 @@
             return Err(refused(format!("handshake answered {}", answer.status)));
         }
         socket.set_expiry(u64::MAX);
-        let config = WebSocketConfig::default().read_buffer_size(1024).write_buffer_size(0);
-        let context = WebSocketContext::from_partially_read(wire.into_rest(), Role::Client, Some(config));
-        Ok(Client { outbox: Outbox::new(socket, 1 << 20), context, ready: VecDeque::new() })
+        let config = WebSocketConfig::default()
+            .read_buffer_size(1024)
+            .write_buffer_size(0);
+        let context =
+            WebSocketContext::from_partially_read(wire.into_rest(), Role::Client, Some(config));
+        Ok(Client {
+            outbox: Outbox::new(socket, 1 << 20),
+            context,
+            ready: VecDeque::new(),
+        })
     }
 
     /// Sends a text.
@@ -96,7 +106,9 @@
     /// # Errors
     /// The connection is gone.
     pub fn send(&mut self, text: String) -> io::Result<()> {
-        let sent = self.context.write(&mut Stream(&self.outbox), Message::text(text));
+        let sent = self
+            .context
+            .write(&mut Stream(&self.outbox), Message::text(text));
         sent.map_err(|e| io::Error::new(ErrorKind::BrokenPipe, e.to_string()))
     }
 
@@ -108,11 +120,14 @@
         while self.ready.is_empty() {
             match self.context.read(&mut Stream(&self.outbox)) {
                 Ok(Message::Text(text)) => {
-                    let said = client::read(&text).map_err(|e| io::Error::new(ErrorKind::InvalidData, e))?;
+                    let said = client::read(&text)
+                        .map_err(|e| io::Error::new(ErrorKind::InvalidData, e))?;
                     self.ready.extend(said);
                 }
                 Ok(_) => {}
-                Err(tungstenite::Error::Io(e)) if e.kind() == ErrorKind::WouldBlock => return Ok(None),
+                Err(tungstenite::Error::Io(e)) if e.kind() == ErrorKind::WouldBlock => {
+                    return Ok(None)
+                }
                 Err(e) => return Err(io::Error::new(ErrorKind::ConnectionAborted, e.to_string())),
             }
         }
@@ -286,8 +301,13 @@
             let key = format!("{:016x}{:08x}", visit.seed, rng.random::<u32>());
             let mut front = visit.fronts[rng.random_range(0..visit.fronts.len())];
             let mut came = self.attend(visit, &key, front, wants.min(until), again, &mut rng);
-            while matches!(came, Came::Lost) && self.habits.keeps_key && self.stays(wants.min(until)) {
-                sleep(Duration::from_nanos(rng.random_range(20..200) * MILLISECOND));
+            while matches!(came, Came::Lost)
+                && self.habits.keeps_key
+                && self.stays(wants.min(until))
+            {
+                sleep(Duration::from_nanos(
+                    rng.random_range(20..200) * MILLISECOND,
+                ));
                 if let Some(address) = (self.finder)(front.0) {
                     front.1 = address;
                     came = self.attend(visit, &key, front, wants.min(until), true, &mut rng);
@@ -320,7 +340,11 @@
     ) -> Came {
         let Ok(mut client) = Client::connect(&front.1, &self.sweeper) else {
             self.aborted.fetch_add(1, Ordering::AcqRel);
-            return if self.habits.keeps_key { Came::Lost } else { Came::Back(None) };
+            return if self.habits.keeps_key {
+                Came::Lost
+            } else {
+                Came::Back(None)
+            };
         };
         let open = Open {
             key: key.to_owned(),
@@ -342,7 +366,9 @@
                 Some(Told::Plays) | None => self.recorder.see(Seen::Broke { call }),
                 Some(_) => return Came::Away,
             }
-            let Ok(fresh) = Client::connect(&front.1, &self.sweeper) else { return Came::Back(None) };
+            let Ok(fresh) = Client::connect(&front.1, &self.sweeper) else {
+                return Came::Back(None);
+            };
             client = fresh;
             call = self.ask(&mut client, front.0, &open, visit, gives_up);
         }
@@ -378,12 +404,28 @@
         }
     }
 
-    fn ask(&self, client: &mut Client, front: u32, open: &Open, visit: &Visit, gives_up: u64) -> u64 {
+    fn ask(
+        &self,
+        client: &mut Client,
+        front: u32,
+        open: &Open,
+        visit: &Visit,
+        gives_up: u64,
+    ) -> u64 {
         let call = self.calls.fetch_add(1, Ordering::Relaxed);
         let (bill, class) = (bill(&open.key), visit.class.0);
-        self.recorder.see(Seen::Asked { call, front, bill, class, gives_up });
+        self.recorder.see(Seen::Asked {
+            call,
+            front,
+            bill,
+            class,
+            gives_up,
+        });
         let left = gives_up.saturating_sub(clock::now());
-        let open = Open { give_up_ms: Some(left / MILLISECOND), ..open.clone() };
+        let open = Open {
+            give_up_ms: Some(left / MILLISECOND),
+            ..open.clone()
+        };
         let _ = client.send(client::open(call, &open)); // Its loss is found while reading.
         call
     }
@@ -417,11 +459,16 @@
 
     fn watch(&self, mut client: Client, session: &str, media: &str, time: u64) -> Came {
         let until = clock::now() + time;
-        let Some((address, path)) = media.strip_prefix("http://").and_then(|m| m.split_once('/')) else {
+        let Some((address, path)) = media
+            .strip_prefix("http://")
+            .and_then(|m| m.split_once('/'))
+        else {
             return Came::Away;
         };
         let name = path.split('/').nth(1).unwrap_or("").to_owned();
-        let Ok(address) = address.parse::<SocketAddr>() else { return Came::Away };
+        let Ok(address) = address.parse::<SocketAddr>() else {
+            return Came::Away;
+        };
         let mut bytes = 0u64;
         let target = format!("/{path}");
         let mut wire: Option<Wire> = None;
@@ -481,13 +528,20 @@
         let Some(wire) = wire else { return Err(0) };
         wire.socket.set_expiry(until + SECOND);
         wire.socket
-            .write_all(&head::request("GET", target, &address.to_string(), &[], b""))
+            .write_all(&head::request(
+                "GET",
+                target,
+                &address.to_string(),
+                &[],
+                b"",
+            ))
             .map_err(|_| 0u64)?;
         let answer = wire.response_head().map_err(|_| 0u64)?;
         if answer.status != 200 {
             return Err(0);
         }
-        wire.drain_body(answer.framing().map_err(|_| 0u64)?).map_err(|(n, _)| n)
+        wire.drain_body(answer.framing().map_err(|_| 0u64)?)
+            .map_err(|(n, _)| n)
     }
 }
 
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -32,7 +32,10 @@
     /// # Errors
     /// It does not listen in time; what it said is told.
     pub fn start(exe: &Path, dir: &Path, name: &str, text: &str) -> io::Result<Process> {
-        let (file, log) = (dir.join(format!("{name}.textproto")), dir.join(format!("{name}.log")));
+        let (file, log) = (
+            dir.join(format!("{name}.textproto")),
+            dir.join(format!("{name}.log")),
+        );
         std::fs::write(&file, text)?;
         let mut child = Command::new(exe)
             .args(["front", "-c"])
@@ -51,13 +54,23 @@
             let _ = said.send(line);
         });
         let line = first.recv_timeout(START_WITHIN).unwrap_or_default();
-        match line.trim().strip_prefix("listening ").and_then(|a| a.parse().ok()) {
-            Some(address) => Ok(Process { name: name.to_owned(), child, address }),
+        match line
+            .trim()
+            .strip_prefix("listening ")
+            .and_then(|a| a.parse().ok())
+        {
+            Some(address) => Ok(Process {
+                name: name.to_owned(),
+                child,
+                address,
+            }),
             None => {
                 let _ = child.kill(); // It is reported below whether or not it still ran.
                 let _ = child.wait();
                 let log = std::fs::read_to_string(&log).unwrap_or_default();
-                Err(io::Error::other(format!("{name} did not start: {line}{log}")))
+                Err(io::Error::other(format!(
+                    "{name} did not start: {line}{log}"
+                )))
             }
         }
     }
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -177,12 +177,19 @@
     /// Adds what is seen now.
     pub fn see(&self, seen: Seen) {
         let mut all = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        all.push(Record { at: clock::now(), seen });
+        all.push(Record {
+            at: clock::now(),
+            seen,
+        });
     }
 
     /// All so far, in the order of their times.
     pub fn all(&self) -> Vec<Record> {
-        let mut all = self.0.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let mut all = self
+            .0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
         all.sort_by_key(|r| r.at);
         all
     }
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -131,7 +131,13 @@
 }
 
 /// A front's block for the configuration of a fleet.
-pub fn front_block(index: u32, siblings: u32, zone: &str, list_service: &str, cache: &str) -> String {
+pub fn front_block(
+    index: u32,
+    siblings: u32,
+    zone: &str,
+    list_service: &str,
+    cache: &str,
+) -> String {
     format!(
         "front {{\n  index: {index}\n  siblings: {siblings}\n  zone: {zone:?}\n  listen: \"127.0.0.1:0\"\n  \
          list_service: {list_service:?}\n  list_cache: {cache:?}\n}}\n"
@@ -144,22 +150,36 @@
 /// What is wrong in it.
 pub fn fleet_config(fleet: &str) -> Result<Config, Vec<Problem>> {
     // The zone is only known from the text; the first one named serves.
-    let named = fleet.split("zone:").nth(1).and_then(|rest| rest.split('"').nth(1)).unwrap_or("");
-    crankpaddle_config::parse(&format!("{fleet}\n{}", front_block(0, 1, named, "127.0.0.1:1", "")))
+    let named = fleet
+        .split("zone:")
+        .nth(1)
+        .and_then(|rest| rest.split('"').nth(1))
+        .unwrap_or("");
+    crankpaddle_config::parse(&format!(
+        "{fleet}\n{}",
+        front_block(0, 1, named, "127.0.0.1:1", "")
+    ))
 }
 
 /// Checks a script. `fleet` gives the text of a fleet by its name.
 ///
 /// # Errors
 /// All that is wrong in it, in the order of the file.
-pub fn parse(text: &str, fleet: impl Fn(&str) -> Result<String, String>) -> Result<Day, Vec<Problem>> {
+pub fn parse(
+    text: &str,
+    fleet: impl Fn(&str) -> Result<String, String>,
+) -> Result<Day, Vec<Problem>> {
     let mut checks = Checks::new(text);
     let raw = checks.structure::<schema::Day>(DESCRIPTORS, "crankpaddle.lab.v1.Day", "");
     let day = raw.map(|raw| values(&mut checks, &raw, fleet));
     checks.verdict(day)
 }
 
-fn values(c: &mut Checks<'_>, raw: &schema::Day, fleet: impl Fn(&str) -> Result<String, String>) -> Day {
+fn values(
+    c: &mut Checks<'_>,
+    raw: &schema::Day,
+    fleet: impl Fn(&str) -> Result<String, String>,
+) -> Day {
     for (there, name) in [
         (raw.servers.is_some(), "servers"),
         (raw.traffic.is_some(), "traffic"),
@@ -177,22 +197,37 @@
     let fleet = format!("{fleet_without_budgets}{}", raw.budgets);
     let config = fleet_config(&fleet);
     if let Err(problems) = &config {
-        let first = problems.first().map(ToString::to_string).unwrap_or_default();
+        let first = problems
+            .first()
+            .map(ToString::to_string)
+            .unwrap_or_default();
         c.wrong("fleet", format!("is no configuration: {first}"));
     }
     let config = config.ok();
-    let (zones, classes) = config.as_ref().map_or((vec![], 0), |f| (f.zones.clone(), f.classes.len()));
+    let (zones, classes) = config
+        .as_ref()
+        .map_or((vec![], 0), |f| (f.zones.clone(), f.classes.len()));
     let cells = config.as_ref().map_or(1, |f| f.settings.cells);
     let count = c.count("servers.count", servers.count, 1, 500);
     if count < cells {
-        c.wrong("servers.count", format!("is {count}; the fleet's {cells} cells need as many at least"));
+        c.wrong(
+            "servers.count",
+            format!("is {count}; the fleet's {cells} cells need as many at least"),
+        );
     }
-    let fits = classes == traffic.share.len() && (traffic.share.iter().sum::<f64>() - 1.0).abs() < 1e-6;
-    c.must(fits, "traffic.share", "is one part for each class, 1 in all");
+    let fits =
+        classes == traffic.share.len() && (traffic.share.iter().sum::<f64>() - 1.0).abs() < 1e-6;
+    c.must(
+        fits,
+        "traffic.share",
+        "is one part for each class, 1 in all",
+    );
     let fronts = c.count("fronts", raw.fronts, 1, 200);
     let length = c.time("length", &raw.length);
     let faults = raw.fault.iter().enumerate();
-    let faults = faults.map(|(i, f)| fault(c, i, f, &zones, count, fronts, length)).collect();
+    let faults = faults
+        .map(|(i, f)| fault(c, i, f, &zones, count, fronts, length))
+        .collect();
     Day {
         name: raw.name.clone(),
         length,
@@ -238,10 +273,14 @@
     if !raw.zone.is_empty() {
         match zones.iter().position(|z| *z == raw.zone) {
             Some(zone) => servers.extend((0..count).filter(|s| *s as usize % zones.len() == zone)),
-            None => c.wrong(&path("zone"), format!("{:?} is not a zone: {}", raw.zone, zones.join(", "))),
+            None => c.wrong(
+                &path("zone"),
+                format!("{:?} is not a zone: {}", raw.zone, zones.join(", ")),
+            ),
         }
     }
-    let part = |c: &mut Checks<'_>, field: &str, value: f64| c.within(&path(field), value, 0.0, 1.0);
+    let part =
+        |c: &mut Checks<'_>, field: &str, value: f64| c.within(&path(field), value, 0.0, 1.0);
     let needs_servers = !matches!(
         raw.kind,
         Some(
@@ -254,7 +293,11 @@
         )
     );
     let which = format!("fault[{i}]");
-    c.must(!needs_servers || !servers.is_empty(), &which, "names no server and no zone");
+    c.must(
+        !needs_servers || !servers.is_empty(),
+        &which,
+        "names no server and no zone",
+    );
     let kind = match &raw.kind {
         None => {
             c.wrong(&which, "has no kind: hang, fast_errors, crash, vanish, slow, burst, crowd, list_late, list_gone, stall, drain, bill_and_reset, trickle or astray");
@@ -270,35 +313,57 @@
         Some(Raw::ListLate(f)) => Kind::ListLate(c.time(&path("list_late.by"), &f.by)),
         Some(Raw::ListGone(_)) => Kind::ListGone,
         Some(Raw::Stall(f)) => {
-            c.must(f.front.iter().all(|n| *n < fronts), &path("stall.front"), "is no front of this day");
+            c.must(
+                f.front.iter().all(|n| *n < fronts),
+                &path("stall.front"),
+                "is no front of this day",
+            );
             Kind::Stall(f.front.clone())
         }
         Some(Raw::Drain(_)) => Kind::Drain,
         Some(Raw::BillAndReset(f)) => Kind::BillAndReset(part(c, "bill_and_reset.part", f.part)),
         Some(Raw::Trickle(_)) => Kind::Trickle,
         Some(Raw::Astray(f)) => Kind::Astray(Astray {
-            late: if f.late.is_empty() { 0 } else { c.time(&path("astray.late"), &f.late) },
+            late: if f.late.is_empty() {
+                0
+            } else {
+                c.time(&path("astray.late"), &f.late)
+            },
             lost: part(c, "astray.lost", f.lost),
             doubled: part(c, "astray.doubled", f.doubled),
         }),
     };
-    Fault { at, length, servers, kind }
+    Fault {
+        at,
+        length,
+        servers,
+        kind,
+    }
 }
 
 impl Day {
     /// New sessions a second at a time of the day, without its crowds.
     pub fn rate_at(&self, at: u64) -> f64 {
         let on = |f: &&Fault| (f.at..f.at + f.length).contains(&at);
-        let times = |f: &Fault| if let Kind::Burst(times) = f.kind { times } else { 1.0 };
+        let times = |f: &Fault| {
+            if let Kind::Burst(times) = f.kind {
+                times
+            } else {
+                1.0
+            }
+        };
         self.rate * self.faults.iter().filter(on).map(times).product::<f64>()
     }
 
     /// The crowd at a time of the day: its title and its added part.
     pub fn crowd_at(&self, at: u64) -> Option<(usize, f64)> {
-        self.faults.iter().filter(|f| (f.at..f.at + f.length).contains(&at)).find_map(|f| match f.kind {
-            Kind::Crowd(title, part) => Some((title, part)),
-            _ => None,
-        })
+        self.faults
+            .iter()
+            .filter(|f| (f.at..f.at + f.length).contains(&at))
+            .find_map(|f| match f.kind {
+                Kind::Crowd(title, part) => Some((title, part)),
+                _ => None,
+            })
     }
 
     /// Seconds that players arrive.
@@ -312,7 +377,9 @@
     use super::*;
 
     fn read(text: &str) -> Result<Day, Vec<Problem>> {
-        parse(text, |name| built_in_fleet(name).ok_or_else(|| format!("no fleet {name:?}")))
+        parse(text, |name| {
+            built_in_fleet(name).ok_or_else(|| format!("no fleet {name:?}"))
+        })
     }
 
     #[test]
@@ -327,22 +394,43 @@
     fn what_is_wrong_is_said_with_its_place() {
         let (_, good) = DAYS[1];
         for (from, to, said) in [
-            ("servers {", "servers {\n  colour: 1", "no field \"colour\" in servers"),
-            ("zone: \"south\"", "zone: \"suth\"", "not a zone: north, south"),
+            (
+                "servers {",
+                "servers {\n  colour: 1",
+                "no field \"colour\" in servers",
+            ),
+            (
+                "zone: \"south\"",
+                "zone: \"suth\"",
+                "not a zone: north, south",
+            ),
             ("crash {}", "", "has no kind"),
             ("fleet: \"fleet\"", "fleet: \"flet\"", "no fleet \"flet\""),
-            ("share: [0.35, 0.65]", "share: [0.35]", "one part for each class"),
+            (
+                "share: [0.35, 0.65]",
+                "share: [0.35]",
+                "one part for each class",
+            ),
         ] {
             assert!(good.contains(from), "{from}");
             let problems = read(&good.replacen(from, to, 1)).unwrap_err();
-            assert!(problems.iter().any(|p| p.what.contains(said) && p.line > 1), "{from}: {problems:?}");
+            assert!(
+                problems.iter().any(|p| p.what.contains(said) && p.line > 1),
+                "{from}: {problems:?}"
+            );
         }
     }
 
     #[test]
     fn bursts_raise_the_rate_while_they_last() {
         let day = read(DAYS[1].1).unwrap();
-        let burst = day.faults.iter().find(|f| matches!(f.kind, Kind::Burst(_))).unwrap();
-        assert!(day.rate_at(burst.at) > day.rate && day.rate_at(burst.at + burst.length) == day.rate);
+        let burst = day
+            .faults
+            .iter()
+            .find(|f| matches!(f.kind, Kind::Burst(_)))
+            .unwrap();
+        assert!(
+            day.rate_at(burst.at) > day.rate && day.rate_at(burst.at + burst.length) == day.rate
+        );
     }
 }
--- a/crates/lab/src/server/mod.rs
+++ b/crates/lab/src/server/mod.rs
@@ -107,7 +107,11 @@
     ///
     /// # Errors
     /// No port can be listened on.
-    pub fn start(config: Arc<Config>, layout: &Layout, recorder: Recorder) -> io::Result<Arc<Fleet>> {
+    pub fn start(
+        config: Arc<Config>,
+        layout: &Layout,
+        recorder: Recorder,
+    ) -> io::Result<Arc<Fleet>> {
         let s = &config.settings;
         let spec = Spec {
             cores: layout.cores,
@@ -119,9 +123,12 @@
             fall: s.fall,
             guard: s.server_guard,
         };
-        let uneven = |n: usize| 1.0 + layout.uneven * (2.0 * spread(layout.seed ^ (n as u64) << 8) - 1.0);
+        let uneven =
+            |n: usize| 1.0 + layout.uneven * (2.0 * spread(layout.seed ^ (n as u64) << 8) - 1.0);
         let racks = s.racks as usize;
-        let links: Vec<_> = (0..layout.count).map(|n| (n % racks, s.link_kb * uneven(n))).collect();
+        let links: Vec<_> = (0..layout.count)
+            .map(|n| (n % racks, s.link_kb * uneven(n)))
+            .collect();
         let uplinks = (0..racks).map(|r| s.uplink_kb * uneven(1000 + r)).collect();
         let mut servers = Vec::new();
         let mut listeners = Vec::new();
@@ -290,17 +297,26 @@
         let session = lock(&self.sessions).remove(name)?;
         lock(&fleet.model).end(self.id as usize, session.stream);
         if session.plays {
-            fleet.recorder.see(Seen::Ended { name: name.to_owned(), bytes: session.bytes });
+            fleet.recorder.see(Seen::Ended {
+                name: name.to_owned(),
+                bytes: session.bytes,
+            });
         }
         Some(session.bytes)
     }
 
     fn say_over(&self, name: &str, finished: bool) {
-        let held = lock(&self.sessions).get(name).map(|s| (s.front.clone(), s.bytes));
+        let held = lock(&self.sessions)
+            .get(name)
+            .map(|s| (s.front.clone(), s.bytes));
         let Some((front, bytes)) = held else { return };
         let outbox = lock(&self.notes).get(&front).cloned();
         if let Some(outbox) = outbox {
-            let over = Over { session: name.to_owned(), finished, sent_bytes: Some(bytes) };
+            let over = Over {
+                session: name.to_owned(),
+                finished,
+                sent_bytes: Some(bytes),
+            };
             outbox.push(&notes::write("over", &over));
         }
     }
--- a/crates/lab/src/server/sessions.rs
+++ b/crates/lab/src/server/sessions.rs
@@ -36,25 +36,42 @@
             rung: order.rung,
             zone: order.zone.clone(),
         });
-        let reply = |reply| fleet.recorder.see(Seen::Replied { name: name.clone(), reply });
-        let (mode, class) = (self.mode(), fleet.config.classes.iter().position(|c| *c == order.class));
+        let reply = |reply| {
+            fleet.recorder.see(Seen::Replied {
+                name: name.clone(),
+                reply,
+            })
+        };
+        let (mode, class) = (
+            self.mode(),
+            fleet.config.classes.iter().position(|c| *c == order.class),
+        );
         let known = lock(&self.sessions).contains_key(&name) || lock(&self.ended).remove(&name);
         let Some(class) = class.filter(|_| !known) else {
             reply(Reply::Error);
-            return Some(Problem::of(409, "the name is taken, ended, or its class unknown").response(&[]));
+            return Some(
+                Problem::of(409, "the name is taken, ended, or its class unknown").response(&[]),
+            );
         };
         if fleet.dice() < mode.errors {
             reply(Reply::Error);
             return Some(Problem::of(500, "set-up failed").response(&[]));
         }
         let stream = fleet.streams.fetch_add(1, Ordering::Relaxed);
-        let taken =
-            lock(&fleet.model).set_up(self.id as usize, stream, fleet.rate(class, order.rung), clock::now());
+        let taken = lock(&fleet.model).set_up(
+            self.id as usize,
+            stream,
+            fleet.rate(class, order.rung),
+            clock::now(),
+        );
         let done = match taken {
             Taken::DoneAt(time) => time,
             Taken::Full => {
                 reply(Reply::Full);
-                let problem = Problem { kind: FULL.into(), ..Problem::of(503, "no room") };
+                let problem = Problem {
+                    kind: FULL.into(),
+                    ..Problem::of(503, "no room")
+                };
                 return Some(problem.response(&[]));
             }
             Taken::Falls => {
@@ -112,23 +129,34 @@
             socket.shut();
             return None;
         }
-        let still = lock(&self.sessions).get_mut(&name).map(|s| s.plays = true).is_some();
+        let still = lock(&self.sessions)
+            .get_mut(&name)
+            .map(|s| s.plays = true)
+            .is_some();
         reply(if still { Reply::Plays } else { Reply::Left });
         if !still {
             return Some(Problem::of(409, "ended before it was set up").response(&[]));
         }
         let (link, uplink) = {
             let model = lock(&fleet.model);
-            (model.link_asked(self.id as usize), model.uplink_asked(self.id as usize))
+            (
+                model.link_asked(self.id as usize),
+                model.uplink_asked(self.id as usize),
+            )
         };
-        let metrics =
-            orca::write(&[("named_metrics.link_asked", link), ("named_metrics.uplink_asked", uplink)]);
+        let metrics = orca::write(&[
+            ("named_metrics.link_asked", link),
+            ("named_metrics.uplink_asked", uplink),
+        ]);
         Some(head::response(201, &[(orca::FIELD, &metrics)], b""))
     }
 
     pub(super) fn bill(&self, fleet: &Fleet, name: &str, order: &Order) {
         lock(&self.ledger).ran(name, order);
-        fleet.recorder.see(Seen::Billed { name: name.to_owned(), bill: order.bill.clone() });
+        fleet.recorder.see(Seen::Billed {
+            name: name.to_owned(),
+            bill: order.bill.clone(),
+        });
     }
 
     /// What it knows of one front.
@@ -146,8 +174,11 @@
         for name in lock(&self.fenced).iter() {
             fleet.recorder.see(Seen::Disowned { name: name.clone() });
         }
-        let of_front =
-            |plays: bool| sessions.iter().filter(move |(_, s)| s.front == front && s.plays == plays);
+        let of_front = |plays: bool| {
+            sessions
+                .iter()
+                .filter(move |(_, s)| s.front == front && s.plays == plays)
+        };
         let held = of_front(true).map(held).collect();
         let under_way = of_front(false).map(|(name, _)| name.clone()).collect();
         let age = clock::now().saturating_sub(self.started.load(Ordering::Acquire));
@@ -166,9 +197,16 @@
             return Problem::of(404, "no such session").response(&[]);
         };
         session.rung = rung;
-        lock(&fleet.model).set_rate(self.id as usize, session.stream, fleet.rate(session.class, rung));
+        lock(&fleet.model).set_rate(
+            self.id as usize,
+            session.stream,
+            fleet.rate(session.class, rung),
+        );
         drop(sessions);
-        fleet.recorder.see(Seen::Rung { name: name.to_owned(), rung });
+        fleet.recorder.see(Seen::Rung {
+            name: name.to_owned(),
+            rung,
+        });
         head::response(204, &[], b"")
     }
 
--- a/crates/lab/src/server/streams.rs
+++ b/crates/lab/src/server/streams.rs
@@ -16,7 +16,8 @@
             return socket.write_all(&gone).is_ok();
         };
         let size = ((kb * 1000.0 * self.seconds(fleet)) as usize).max(1);
-        let fields = format!("HTTP/1.1 200 OK\r\ncontent-type: video/mp4\r\ncontent-length: {size}\r\n\r\n");
+        let fields =
+            format!("HTTP/1.1 200 OK\r\ncontent-type: video/mp4\r\ncontent-length: {size}\r\n\r\n");
         if socket.write_all(fields.as_bytes()).is_err() {
             return false;
         }
@@ -25,7 +26,11 @@
         let mut left = size;
         let before = lock(&self.sessions).get(name).map_or(0, |s| s.due);
         let now = clock::now();
-        let mut due = if now.saturating_sub(before) < SOON { before } else { now };
+        let mut due = if now.saturating_sub(before) < SOON {
+            before
+        } else {
+            now
+        };
         while left > 0 {
             // The whole takes longer by as much as the share is short.
             let share = lock(&fleet.model).share(self.id as usize);
@@ -33,8 +38,9 @@
             sleep(Duration::from_nanos(due.saturating_sub(clock::now())));
             let n = piece.len().min(left);
             let silent = self.mode().vanished || self.mode().hangs;
-            let held =
-                lock(&self.sessions).get_mut(name).map(|s| s.bytes += if silent { 0 } else { n as u64 });
+            let held = lock(&self.sessions)
+                .get_mut(name)
+                .map(|s| s.bytes += if silent { 0 } else { n as u64 });
             if held.is_none() {
                 return false;
             }
@@ -56,15 +62,27 @@
     pub(super) fn events(&self, socket: &Arc<Socket>, query: &str) {
         let front = query.strip_prefix("front=").unwrap_or("").to_owned();
         let outbox = Arc::new(Outbox::new(socket.clone(), 1 << 20));
-        let fields = [("content-type", "text/event-stream"), ("connection", "close")];
+        let fields = [
+            ("content-type", "text/event-stream"),
+            ("connection", "close"),
+        ];
         let mut first = b"HTTP/1.1 200 OK\r\n".to_vec();
-        fields.iter().for_each(|(n, v)| first.extend(format!("{n}: {v}\r\n").bytes()));
+        fields
+            .iter()
+            .for_each(|(n, v)| first.extend(format!("{n}: {v}\r\n").bytes()));
         first.extend(b"\r\n");
         let sessions = lock(&self.sessions);
-        let held = sessions.iter().filter(|(_, s)| s.front == front && s.plays).map(|(n, _)| n.clone());
+        let held = sessions
+            .iter()
+            .filter(|(_, s)| s.front == front && s.plays)
+            .map(|(n, _)| n.clone());
         let age = clock::now().saturating_sub(self.started.load(Ordering::Acquire)) / MILLISECOND;
         let boot = self.boot.load(Ordering::Acquire).to_string();
-        let hello = Hello { boot, sessions: held.collect(), age_ms: Some(age) };
+        let hello = Hello {
+            boot,
+            sessions: held.collect(),
+            age_ms: Some(age),
+        };
         first.extend(notes::write("hello", &hello));
         outbox.push(&first);
         lock(&self.notes).insert(front.clone(), outbox.clone());
--- a/crates/lab/src/telling.rs
+++ b/crates/lab/src/telling.rs
@@ -28,11 +28,15 @@
     }
 
     fn send(&mut self, due: u64, astray: Astray, front: &str, bytes: &[u8]) {
-        let copies =
-            if self.dice() < astray.lost { 0 } else { 1 + usize::from(self.dice() < astray.doubled) };
+        let copies = if self.dice() < astray.lost {
+            0
+        } else {
+            1 + usize::from(self.dice() < astray.doubled)
+        };
         for _ in 0..copies {
             let later = (astray.late as f64 * (0.5 + 0.5 * self.dice())) as u64;
-            self.words.push((due + later, front.to_owned(), bytes.to_vec()));
+            self.words
+                .push((due + later, front.to_owned(), bytes.to_vec()));
         }
     }
 
@@ -40,7 +44,10 @@
     fn due(&mut self, now: u64) -> Vec<(String, Vec<u8>)> {
         self.words.sort_by_key(|(at, ..)| *at);
         let still = self.words.partition_point(|(at, ..)| *at <= now);
-        self.words.drain(..still).map(|(_, front, bytes)| (front, bytes)).collect()
+        self.words
+            .drain(..still)
+            .map(|(_, front, bytes)| (front, bytes))
+            .collect()
     }
 }
 
@@ -52,7 +59,9 @@
         for session in lock(&self.sessions).values() {
             if session.plays && !session.zone.is_empty() && session.zone != *own {
                 let kb = fleet.rate(session.class, session.rung);
-                *rates.entry((session.zone.clone(), session.class)).or_default() += kb * 1000.0;
+                *rates
+                    .entry((session.zone.clone(), session.class))
+                    .or_default() += kb * 1000.0;
             }
         }
         let named = |((to, class), rate): ((String, usize), f64)| {
@@ -73,7 +82,10 @@
         let (server, fleet) = (self.clone(), fleet.clone());
         spawn(Stack::Usual, move || {
             let s = &fleet.config.settings;
-            let mut words = OnTheWay { drawn: u64::from(server.id) << 32, ..OnTheWay::default() };
+            let mut words = OnTheWay {
+                drawn: u64::from(server.id) << 32,
+                ..OnTheWay::default()
+            };
             let (mut delivered_at, mut link_at) = (0u64, 0u64);
             loop {
                 sleep(TICK);
@@ -90,7 +102,9 @@
                 };
                 let mut of_front: BTreeMap<String, String> = BTreeMap::new();
                 for (name, session) in lock(&server.sessions).iter().filter(|(_, s)| s.plays) {
-                    of_front.entry(session.front.clone()).or_insert_with(|| name.clone());
+                    of_front
+                        .entry(session.front.clone())
+                        .or_insert_with(|| name.clone());
                 }
                 let short = now >= delivered_at + 1000 * MILLISECOND && share < 0.98;
                 let tell = now >= link_at + s.note_every;
@@ -106,12 +120,17 @@
                         words.send(due, astray, &front, &notes::write("note", &told));
                     }
                 }
-                let streams: Vec<_> =
-                    lock(&server.notes).iter().map(|(f, o)| (f.clone(), o.clone())).collect();
+                let streams: Vec<_> = lock(&server.notes)
+                    .iter()
+                    .map(|(f, o)| (f.clone(), o.clone()))
+                    .collect();
                 if tell {
                     let crossing = server.crossing(&fleet);
                     for (front, _) in &streams {
-                        let traffic = Traffic { sent: server.sent(front), crossing: crossing.clone() };
+                        let traffic = Traffic {
+                            sent: server.sent(front),
+                            crossing: crossing.clone(),
+                        };
                         words.send(due, astray, front, &notes::write("traffic", &traffic));
                     }
                 }
--- a/crates/lab/src/views.rs
+++ b/crates/lab/src/views.rs
@@ -42,9 +42,21 @@
 impl Views {
     /// Begins to ask; no front runs yet. Where each is reached by its peers is told to the mesh.
     pub fn start(fronts: usize, mesh: &Mesh) -> Views {
-        let views = (0..fronts).map(|_| View { states: vec![None; fronts], ..View::default() }).collect();
-        let all = All { views, ..All::default() };
-        let views = Views { all: Arc::new(Mutex::new(all)), over: Arc::default(), mesh: mesh.clone() };
+        let views = (0..fronts)
+            .map(|_| View {
+                states: vec![None; fronts],
+                ..View::default()
+            })
+            .collect();
+        let all = All {
+            views,
+            ..All::default()
+        };
+        let views = Views {
+            all: Arc::new(Mutex::new(all)),
+            over: Arc::default(),
+            mesh: mesh.clone(),
+        };
         for front in 0..fronts {
             let views = views.clone();
             std::thread::spawn(move || {
@@ -82,17 +94,25 @@
         };
         let Some(address) = address else { return };
         // One that stands still does not answer; it is asked again.
-        let Ok(body) = crankpaddle_traffic_report::get(&address, "/members", WITHIN) else { return };
+        let Ok(body) = crankpaddle_traffic_report::get(&address, "/members", WITHIN) else {
+            return;
+        };
         let now = clock::now();
         let Ok(members) = serde_json::from_slice::<Members>(&body) else {
-            self.lock().missed.push(format!("front {front} told of no members"));
+            self.lock()
+                .missed
+                .push(format!("front {front} told of no members"));
             return;
         };
         if let Ok(home) = members.address.parse() {
             self.mesh.home(front, home);
         }
         let mut all = self.lock();
-        let All { views, turns, missed } = &mut *all;
+        let All {
+            views,
+            turns,
+            missed,
+        } = &mut *all;
         let view = &mut views[front];
         if view.life != life {
             return; // Another process runs there now.
@@ -113,16 +133,28 @@
                 ));
             }
             view.last = turn.number;
-            let Some(of) = number(&turn.name) else { continue };
+            let Some(of) = number(&turn.name) else {
+                continue;
+            };
             let at = now.saturating_sub(turn.ago_ms * 1_000_000);
-            turns.push(Turn { at, by: front, of, state: state(turn.state), restarted: turn.restarted });
+            turns.push(Turn {
+                at,
+                by: front,
+                of,
+                state: state(turn.state),
+                restarted: turn.restarted,
+            });
         }
     }
 
     /// Where players find the fronts that run.
     pub fn running(&self) -> Vec<(u32, SocketAddr)> {
         let all = self.lock();
-        let running = all.views.iter().enumerate().filter_map(|(i, v)| Some((i as u32, v.address?)));
+        let running = all
+            .views
+            .iter()
+            .enumerate()
+            .filter_map(|(i, v)| Some((i as u32, v.address?)));
         running.collect()
     }
 
@@ -138,7 +170,13 @@
 
     /// Changes from a time on, in the order of their times.
     pub fn turns(&self, from: u64) -> Vec<Turn> {
-        let mut turns: Vec<Turn> = self.lock().turns.iter().filter(|t| t.at >= from).cloned().collect();
+        let mut turns: Vec<Turn> = self
+            .lock()
+            .turns
+            .iter()
+            .filter(|t| t.at >= from)
+            .cloned()
+            .collect();
         turns.sort_by_key(|t| t.at);
         turns
     }
--- a/crates/measure/src/account.rs
+++ b/crates/measure/src/account.rs
@@ -28,12 +28,34 @@
 }
 
 fn desk() -> Desk {
-    let shared = Shared { rate_kb: 1e9, burst: 1e12, volume: f64::INFINITY, period: 0, repay: 60 * SECOND };
+    let shared = Shared {
+        rate_kb: 1e9,
+        burst: 1e12,
+        volume: f64::INFINITY,
+        period: 0,
+        repay: 60 * SECOND,
+    };
     let mut desk = Desk::new(Terms {
-        place: Place { index: 0, siblings: 1 },
+        place: Place {
+            index: 0,
+            siblings: 1,
+        },
         zone: 0,
-        classes: vec![Class { paid: true, kb: vec![300.0] }, Class { paid: false, kb: vec![200.0] }],
-        limits: vec![Limit { from: 1, class: None, shared }],
+        classes: vec![
+            Class {
+                paid: true,
+                kb: vec![300.0],
+            },
+            Class {
+                paid: false,
+                kb: vec![200.0],
+            },
+        ],
+        limits: vec![Limit {
+            from: 1,
+            class: None,
+            shared,
+        }],
         note_delay: SECOND / 2,
     });
     (0..SERVERS).for_each(|server| desk.listed(server, (server % 2) as u8, true));
@@ -42,7 +64,15 @@
 
 fn attempt(id: u64) -> Attempt {
     let class = u8::from(!id.is_multiple_of(3));
-    Attempt { id, number: 0, server: (id % u64::from(SERVERS)) as u32, class, tenant: 0, group: 0, rung: 0 }
+    Attempt {
+        id,
+        number: 0,
+        server: (id % u64::from(SERVERS)) as u32,
+        class,
+        tenant: 0,
+        group: 0,
+        rung: 0,
+    }
 }
 
 /// What a round showed.
@@ -73,7 +103,11 @@
                 desk.counted(*id, *bytes, now);
             }
         }
-        let oldest: Vec<u64> = sent.keys().take((plan.sessions / LENGTH) as usize).copied().collect();
+        let oldest: Vec<u64> = sent
+            .keys()
+            .take((plan.sessions / LENGTH) as usize)
+            .copied()
+            .collect();
         for id in oldest {
             let bytes = sent.remove(&id).unwrap_or(0);
             let next = id + plan.sessions;
@@ -119,7 +153,8 @@
         let with = play(plan, Some(&mut desk), 0)?;
         if n == 0 {
             // The first time, before the allocator has pages of an earlier round to hand.
-            memory = resident(std::process::id())?.saturating_sub(held) as f64 / plan.sessions as f64;
+            memory =
+                resident(std::process::id())?.saturating_sub(held) as f64 / plan.sessions as f64;
         }
         figures.push((none.cpu, with.cpu, with));
     }
@@ -128,7 +163,11 @@
         let mut sorted = values;
         sorted.sort_by(f64::total_cmp);
         let (least, most) = (sorted.first().copied(), sorted.last().copied());
-        (sorted[sorted.len() / 2], least.unwrap_or(0.0), most.unwrap_or(0.0))
+        (
+            sorted[sorted.len() / 2],
+            least.unwrap_or(0.0),
+            most.unwrap_or(0.0),
+        )
     };
     let row = |what: &str, (median, least, most): (f64, f64, f64)| {
         format!("| {what} | {median:.1} | {least:.1} to {most:.1} |\n")
@@ -137,9 +176,18 @@
         "{} sessions, {} s of a given clock, {} rounds in turns\n| | median | least to most |\n| --- | --- | --- |\n",
         plan.sessions, plan.seconds, plan.rounds
     );
-    text += &row("CPU a session second without, ns", spread(figures.iter().map(|f| per(f.0)).collect()));
-    text += &row("CPU a session second with, ns", spread(figures.iter().map(|f| per(f.1)).collect()));
-    text += &row("added, ns", spread(figures.iter().map(|f| per(f.1 - f.0)).collect()));
+    text += &row(
+        "CPU a session second without, ns",
+        spread(figures.iter().map(|f| per(f.0)).collect()),
+    );
+    text += &row(
+        "CPU a session second with, ns",
+        spread(figures.iter().map(|f| per(f.1)).collect()),
+    );
+    text += &row(
+        "added, ns",
+        spread(figures.iter().map(|f| per(f.1 - f.0)).collect()),
+    );
     text += &row(
         "longest step of settling, us",
         spread(figures.iter().map(|f| f.2.longest_step * 1e6).collect()),
--- a/crates/measure/src/bench.rs
+++ b/crates/measure/src/bench.rs
@@ -47,13 +47,22 @@
 
 impl Target {
     fn start(mut command: Command) -> io::Result<Target> {
-        let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::null()).spawn()?;
+        let mut child = command
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()?;
         let mut line = String::new();
         if let Some(stdout) = child.stdout.take() {
             BufReader::new(stdout).read_line(&mut line)?;
         }
-        let address = line.trim().strip_prefix("listening ").and_then(|a| a.parse().ok());
-        address.map(|a| Target(child, a)).ok_or_else(|| io::Error::other(format!("it did not start: {line}")))
+        let address = line
+            .trim()
+            .strip_prefix("listening ")
+            .and_then(|a| a.parse().ok());
+        address
+            .map(|a| Target(child, a))
+            .ok_or_else(|| io::Error::other(format!("it did not start: {line}")))
     }
 }
 
@@ -84,7 +93,11 @@
 
 /// Least and largest.
 fn spread(values: &[f64]) -> (f64, f64) {
-    values.iter().fold((f64::INFINITY, f64::NEG_INFINITY), |(a, b), x| (a.min(*x), b.max(*x)))
+    values
+        .iter()
+        .fold((f64::INFINITY, f64::NEG_INFINITY), |(a, b), x| {
+            (a.min(*x), b.max(*x))
+        })
 }
 
 fn median(values: &[f64]) -> f64 {
@@ -146,17 +159,32 @@
 
 impl Harness {
     /// As many set-ups as go in a time: set-ups a second, and the target's CPU for each in microseconds.
-    fn full(&self, target: &Target, seconds: u64, failures: &mut Failures) -> io::Result<(f64, f64)> {
-        let (done, failed) = (Arc::new(AtomicU64::new(0)), Arc::new(Mutex::new(std::mem::take(failures))));
-        let (stop, left) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(ASKERS as u64)));
+    fn full(
+        &self,
+        target: &Target,
+        seconds: u64,
+        failures: &mut Failures,
+    ) -> io::Result<(f64, f64)> {
+        let (done, failed) = (
+            Arc::new(AtomicU64::new(0)),
+            Arc::new(Mutex::new(std::mem::take(failures))),
+        );
+        let (stop, left) = (
+            Arc::new(AtomicBool::new(false)),
+            Arc::new(AtomicU64::new(ASKERS as u64)),
+        );
         for _ in 0..ASKERS {
-            let (done, failed, stop, left) = (done.clone(), failed.clone(), stop.clone(), left.clone());
+            let (done, failed, stop, left) =
+                (done.clone(), failed.clone(), stop.clone(), left.clone());
             let (calls, sweeper, address) = (self.calls.clone(), self.sweeper.clone(), target.1);
             spawn(Stack::Usual, move || {
                 let mut kept = None;
                 while !stop.load(Ordering::Acquire) {
                     let came_out = one(&mut kept, &address, &sweeper, &calls);
-                    failed.lock().unwrap_or_else(PoisonError::into_inner).note(&came_out);
+                    failed
+                        .lock()
+                        .unwrap_or_else(PoisonError::into_inner)
+                        .note(&came_out);
                     match came_out {
                         Ok(_) => drop(done.fetch_add(1, Ordering::Relaxed)),
                         Err(_) => sleep(AFTER_FAILURE),
@@ -166,15 +194,25 @@
             });
         }
         std::thread::sleep(Duration::from_millis(500)); // Connections and pools are warm then.
-        let (count, cpu, at) = (done.load(Ordering::Relaxed), cpu_seconds(target.0.id())?, clock::now());
+        let (count, cpu, at) = (
+            done.load(Ordering::Relaxed),
+            cpu_seconds(target.0.id())?,
+            clock::now(),
+        );
         std::thread::sleep(Duration::from_secs(seconds));
-        let (count, cpu) = (done.load(Ordering::Relaxed) - count, cpu_seconds(target.0.id())? - cpu);
+        let (count, cpu) = (
+            done.load(Ordering::Relaxed) - count,
+            cpu_seconds(target.0.id())? - cpu,
+        );
         let took = (clock::now() - at) as f64 / SECOND as f64;
         stop.store(true, Ordering::Release);
         while left.load(Ordering::Acquire) > 0 {
             std::thread::sleep(Duration::from_millis(10));
         }
-        *failures = failed.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        *failures = failed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
         Ok((count as f64 / took, cpu * 1e6 / count.max(1) as f64))
     }
 
@@ -186,10 +224,14 @@
         seconds: u64,
         failures: &mut Failures,
     ) -> io::Result<Histogram<u64>> {
-        let latencies = Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).map_err(io::Error::other)?;
+        let latencies =
+            Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).map_err(io::Error::other)?;
         let latencies = Arc::new(Mutex::new(latencies));
         let idle: Arc<Mutex<Vec<Client>>> = Arc::default();
-        let (left, failed) = (Arc::new(AtomicU64::new(0)), Arc::new(Mutex::new(std::mem::take(failures))));
+        let (left, failed) = (
+            Arc::new(AtomicU64::new(0)),
+            Arc::new(Mutex::new(std::mem::take(failures))),
+        );
         let (start, count) = (clock::now() + SECOND / 10, (rate * seconds as f64) as u64);
         for n in 0..count {
             let meant = start + (n as f64 / rate * SECOND as f64) as u64;
@@ -198,17 +240,29 @@
                 std::thread::sleep(Duration::from_nanos(meant - now));
             }
             left.fetch_add(1, Ordering::AcqRel);
-            let (latencies, idle, left, failed) =
-                (latencies.clone(), idle.clone(), left.clone(), failed.clone());
+            let (latencies, idle, left, failed) = (
+                latencies.clone(),
+                idle.clone(),
+                left.clone(),
+                failed.clone(),
+            );
             let (calls, sweeper, address) = (self.calls.clone(), self.sweeper.clone(), target.1);
             spawn(Stack::Usual, move || {
                 let mut kept = idle.lock().unwrap_or_else(PoisonError::into_inner).pop();
                 let came_out = one(&mut kept, &address, &sweeper, &calls);
-                failed.lock().unwrap_or_else(PoisonError::into_inner).note(&came_out);
+                failed
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .note(&came_out);
                 if let Ok(answered) = came_out {
                     let took = answered.saturating_sub(meant) / 1000;
-                    latencies.lock().unwrap_or_else(PoisonError::into_inner).saturating_record(took.max(1));
-                    idle.lock().unwrap_or_else(PoisonError::into_inner).extend(kept);
+                    latencies
+                        .lock()
+                        .unwrap_or_else(PoisonError::into_inner)
+                        .saturating_record(took.max(1));
+                    idle.lock()
+                        .unwrap_or_else(PoisonError::into_inner)
+                        .extend(kept);
                 }
                 left.fetch_sub(1, Ordering::AcqRel);
             });
@@ -216,8 +270,14 @@
         while left.load(Ordering::Acquire) > 0 {
             std::thread::sleep(Duration::from_millis(10));
         }
-        *failures = failed.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        let all = latencies.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        *failures = failed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        let all = latencies
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
         Ok(all)
     }
 
@@ -225,18 +285,32 @@
     fn memory(&self, target: &Target, count: usize, sessions: usize) -> io::Result<(f64, f64)> {
         let held: Arc<Mutex<Vec<Client>>> = Arc::default();
         let before = resident(target.0.id())?;
-        let (stop, left) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+        let (stop, left) = (
+            Arc::new(AtomicBool::new(false)),
+            Arc::new(AtomicU64::new(0)),
+        );
         let connect = |play: bool| {
             left.fetch_add(1, Ordering::AcqRel);
             let (held, stop, left) = (held.clone(), stop.clone(), left.clone());
             let (calls, sweeper, address) = (self.calls.clone(), self.sweeper.clone(), target.1);
             spawn(Stack::Usual, move || {
-                let kept = held.lock().unwrap_or_else(PoisonError::into_inner).pop().filter(|_| play);
-                if let Some(mut client) = kept.or_else(|| Client::connect(&address, &sweeper).ok()) {
+                let kept = held
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .pop()
+                    .filter(|_| play);
+                if let Some(mut client) = kept.or_else(|| Client::connect(&address, &sweeper).ok())
+                {
                     if play {
                         let id = calls.fetch_add(2, Ordering::Relaxed);
-                        let (key, title) = (format!("held-{id:012}"), format!("clip-{:02}", id / 2 % 24));
-                        let open = Open { key, title, class: "preview".into(), ..Open::default() };
+                        let (key, title) =
+                            (format!("held-{id:012}"), format!("clip-{:02}", id / 2 % 24));
+                        let open = Open {
+                            key,
+                            title,
+                            class: "preview".into(),
+                            ..Open::default()
+                        };
                         let _ = client.send(client::open(id, &open)); // Counted below by what plays.
                         let _ = client.next(clock::now() + 10 * SECOND);
                     }
@@ -300,14 +374,31 @@
         .replace("connections: 8000", "connections: 100000")
         .replace("level: \"info\"", &format!("level: {:?}", plan.log));
     let config = Arc::new(fleet_config(&text).map_err(|p| io::Error::other(format!("{p:?}")))?);
-    let layout = Layout { count: 12, cores: 64, work: 0, uneven: 0.0, segment: SECOND, seed: 1 };
+    let layout = Layout {
+        count: 12,
+        cores: 64,
+        work: 0,
+        uneven: 0.0,
+        segment: SECOND,
+        seed: 1,
+    };
     let recorder = Recorder::default();
     let fleet = Fleet::start(config.clone(), &layout, recorder.clone())?;
-    let entries = fleet.servers.iter().map(|s| entry(&config, s.id, s.address, State::Ready, 0)).collect();
+    let entries = fleet
+        .servers
+        .iter()
+        .map(|s| entry(&config, s.id, s.address, State::Ready, 0))
+        .collect();
     let list = ListService::start(entries, SECOND / 10, recorder)?;
     let block = front_block(0, 1, &config.zones[0], &list.address.to_string(), "");
     let file = plan.dir.join("measured.textproto");
-    std::fs::write(&file, format!("{}{text}", block.replacen("front {", "front {\n  workers: 1", 1)))?;
+    std::fs::write(
+        &file,
+        format!(
+            "{}{text}",
+            block.replacen("front {", "front {\n  workers: 1", 1)
+        ),
+    )?;
     let start_front = || {
         let mut command = Command::new(&plan.exe);
         command.args(["front", "-c"]).arg(&file);
@@ -315,7 +406,9 @@
     };
     let start_relay = || {
         let mut command = Command::new(&plan.exe);
-        command.args(["lab", "relay"]).args(fleet.servers.iter().map(|s| s.address.to_string()));
+        command
+            .args(["lab", "relay"])
+            .args(fleet.servers.iter().map(|s| s.address.to_string()));
         Target::start(command)
     };
     let harness = Harness {
@@ -344,18 +437,38 @@
     std::thread::sleep(Duration::from_secs(1));
     let memory_front = harness.memory(&front, plan.idle, plan.sessions)?;
     let memory_relay = harness.memory(&relay, plan.idle, plan.sessions)?;
-    let mut text = table(plan, (&of_front, &of_relay), half, (memory_front, memory_relay));
+    let mut text = table(
+        plan,
+        (&of_front, &of_relay),
+        half,
+        (memory_front, memory_relay),
+    );
     for (name, side) in [("front", &of_front), ("relay", &of_relay)] {
         text.push_str(&format!("{name}: set-ups, {}\n", side.failures));
     }
-    Ok(Measured { text, failed: of_front.failures.share().max(of_relay.failures.share()) })
+    Ok(Measured {
+        text,
+        failed: of_front.failures.share().max(of_relay.failures.share()),
+    })
 }
 
-fn table(plan: &Plan, sides: (&Side, &Side), half: f64, memory: ((f64, f64), (f64, f64))) -> String {
+fn table(
+    plan: &Plan,
+    sides: (&Side, &Side),
+    half: f64,
+    memory: ((f64, f64), (f64, f64)),
+) -> String {
     let (front, relay) = sides;
-    let ratios: Vec<f64> = front.cpu_us.iter().zip(&relay.cpu_us).map(|(f, r)| f / r).collect();
-    let mut text =
-        format!("{} rounds of {} s in turns, front log level {}\n", plan.rounds, plan.seconds, plan.log);
+    let ratios: Vec<f64> = front
+        .cpu_us
+        .iter()
+        .zip(&relay.cpu_us)
+        .map(|(f, r)| f / r)
+        .collect();
+    let mut text = format!(
+        "{} rounds of {} s in turns, front log level {}\n",
+        plan.rounds, plan.seconds, plan.log
+    );
     text.push_str("| | front | relay | front to relay |\n| --- | --- | --- | --- |\n");
     let mut row = |what: &str, f: f64, r: f64, last: String| {
         text.push_str(&format!("| {what} | {f:.1} | {r:.1} | {last} |\n"));
@@ -364,19 +477,37 @@
     row("set-ups a second, one core", f, r, format!("{:.2}", f / r));
     let (least, most) = spread(&ratios);
     let ratio = format!("{:.2} ({least:.2} to {most:.2})", median(&ratios));
-    row("CPU a set-up with its close, us", median(&front.cpu_us), median(&relay.cpu_us), ratio);
+    row(
+        "CPU a set-up with its close, us",
+        median(&front.cpu_us),
+        median(&relay.cpu_us),
+        ratio,
+    );
     for (name, q) in [("p50", 0.5), ("p99", 0.99), ("p99.9", 0.999)] {
         let at = |side: &Side| -> Vec<f64> {
-            side.latency.iter().map(|h| h.value_at_quantile(q) as f64 / 1000.0).collect()
+            side.latency
+                .iter()
+                .map(|h| h.value_at_quantile(q) as f64 / 1000.0)
+                .collect()
         };
         let (f, r) = (at(front), at(relay));
         let (least, most) = spread(&f.iter().zip(&r).map(|(f, r)| f - r).collect::<Vec<_>>());
         let (f, r) = (median(&f), median(&r));
         let added = format!("{:+.2} ms ({least:+.2} to {most:+.2})", f - r);
-        row(&format!("{name} at {half:.0} set-ups a second, ms"), f, r, added);
+        row(
+            &format!("{name} at {half:.0} set-ups a second, ms"),
+            f,
+            r,
+            added,
+        );
     }
     let (f, r) = memory;
-    row(&format!("bytes an idle connection, {}", plan.idle), f.0, r.0, format!("{:.2}", f.0 / r.0));
+    row(
+        &format!("bytes an idle connection, {}", plan.idle),
+        f.0,
+        r.0,
+        format!("{:.2}", f.0 / r.0),
+    );
     row(
         &format!("bytes a session that plays, {}", plan.sessions),
         f.1,
--- a/crates/measure/src/failures.rs
+++ b/crates/measure/src/failures.rs
@@ -29,8 +29,15 @@
 
 impl fmt::Display for Failures {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} of {} failed", self.causes.values().sum::<u64>(), self.tried)?;
-        self.causes.iter().try_for_each(|(cause, n)| write!(f, "; {cause}: {n}"))
+        write!(
+            f,
+            "{} of {} failed",
+            self.causes.values().sum::<u64>(),
+            self.tried
+        )?;
+        self.causes
+            .iter()
+            .try_for_each(|(cause, n)| write!(f, "; {cause}: {n}"))
     }
 }
 
@@ -41,7 +48,13 @@
         Said::Failed { reason, .. } => format!("failed, {reason}"),
         Said::Error { code, .. } => format!("error {code}"),
         Said::End { reason, .. } => format!("ended, {reason}"),
-        other => format!("unexpected {}", format!("{other:?}").split([' ', '{']).next().unwrap_or("answer")),
+        other => format!(
+            "unexpected {}",
+            format!("{other:?}")
+                .split([' ', '{'])
+                .next()
+                .unwrap_or("answer")
+        ),
     }
 }
 
@@ -57,11 +70,21 @@
     #[test]
     fn failures_are_counted_by_cause_and_told_with_their_share() {
         let mut all = Failures::default();
-        assert_eq!((all.share(), all.to_string().as_str()), (0.0, "0 of 0 failed"));
+        assert_eq!(
+            (all.share(), all.to_string().as_str()),
+            (0.0, "0 of 0 failed")
+        );
         (0..97).for_each(|_| all.note(&Ok(())));
-        let refused = Said::Refused { id: 1, reason: "no_room".into(), retry_after_ms: None };
+        let refused = Said::Refused {
+            id: 1,
+            reason: "no_room".into(),
+            retry_after_ms: None,
+        };
         (0..2).for_each(|_| all.note::<()>(&Err(cause_of_answer(&refused))));
-        all.note::<()>(&Err(cause_of_error("connect", &io::ErrorKind::ConnectionReset.into())));
+        all.note::<()>(&Err(cause_of_error(
+            "connect",
+            &io::ErrorKind::ConnectionReset.into(),
+        )));
         assert!((all.share() - 0.03).abs() < 1e-9);
         let told = "3 of 100 failed; connect: connection reset: 1; refused, no_room: 2";
         assert_eq!(all.to_string(), told);
--- a/crates/measure/src/relay.rs
+++ b/crates/measure/src/relay.rs
@@ -62,8 +62,12 @@
 pub fn start(servers: Vec<SocketAddr>) -> io::Result<SocketAddr> {
     let listener = listen(([127, 0, 0, 1], 0).into())?;
     let address = listener.local_addr()?;
-    let relay =
-        Relay { servers, next: AtomicUsize::new(0), idle: Mutex::default(), sessions: Mutex::default() };
+    let relay = Relay {
+        servers,
+        next: AtomicUsize::new(0),
+        idle: Mutex::default(),
+        sessions: Mutex::default(),
+    };
     accept_each(listener, Arc::default(), move |socket| {
         let _ = relay.serve(Arc::new(socket)); // A connection that breaks is over.
     });
@@ -74,7 +78,13 @@
     fn serve(&self, socket: Arc<Socket>) -> Result<(), String> {
         let mut wire = Wire::new(socket.clone());
         let request = wire.request_head(0).map_err(|e| e.to_string())?;
-        let accepted = derive_accept_key(request.fields.get("sec-websocket-key").unwrap_or("").as_bytes());
+        let accepted = derive_accept_key(
+            request
+                .fields
+                .get("sec-websocket-key")
+                .unwrap_or("")
+                .as_bytes(),
+        );
         let fields = [
             ("upgrade", "websocket"),
             ("connection", "Upgrade"),
@@ -83,10 +93,15 @@
         ];
         let outbox = Outbox::new(socket, UNREAD);
         outbox.push(&head::response(101, &fields, b""));
-        let config = WebSocketConfig::default().read_buffer_size(READ_BUFFER).write_buffer_size(0);
-        let mut context = WebSocketContext::from_partially_read(wire.into_rest(), Role::Server, Some(config));
+        let config = WebSocketConfig::default()
+            .read_buffer_size(READ_BUFFER)
+            .write_buffer_size(0);
+        let mut context =
+            WebSocketContext::from_partially_read(wire.into_rest(), Role::Server, Some(config));
         loop {
-            let read = context.read(&mut Stream(&outbox)).map_err(|e| e.to_string())?;
+            let read = context
+                .read(&mut Stream(&outbox))
+                .map_err(|e| e.to_string())?;
             if let Message::Text(text) = read {
                 let call: Value = serde_json::from_str(&text).map_err(|e| e.to_string())?;
                 let answer = self.answer(&call);
@@ -101,7 +116,11 @@
         let (id, params) = (&call["id"], &call["params"]);
         if call["method"] == "session.close" {
             let name = params["session"].as_str().unwrap_or("");
-            let held = self.sessions.lock().unwrap_or_else(PoisonError::into_inner).remove(name);
+            let held = self
+                .sessions
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .remove(name);
             if let Some((server, name)) = held {
                 self.exchange(server, &sessions::tear_down(&server.to_string(), &name));
             }
@@ -120,8 +139,13 @@
             rung: 0,
             zone: String::new(),
         };
-        if self.exchange(server, &sessions::set_up(&server.to_string(), &name, &order)) != Some(201) {
-            let error = json!({"code": -32002, "message": "failed", "data": {"reason": "server_error"}});
+        if self.exchange(
+            server,
+            &sessions::set_up(&server.to_string(), &name, &order),
+        ) != Some(201)
+        {
+            let error =
+                json!({"code": -32002, "message": "failed", "data": {"reason": "server_error"}});
             return json!({"jsonrpc": "2.0", "id": id, "error": error});
         }
         let media = format!("http://{server}{}", sessions::media_path(&name));
@@ -132,8 +156,12 @@
 
     /// Sends a request over a kept connection and gives the answer's status.
     fn exchange(&self, server: SocketAddr, bytes: &[u8]) -> Option<u16> {
-        let kept =
-            self.idle.lock().unwrap_or_else(PoisonError::into_inner).get_mut(&server).and_then(Vec::pop);
+        let kept = self
+            .idle
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .get_mut(&server)
+            .and_then(Vec::pop);
         let socket = match kept.filter(|s| s.is_idle()) {
             Some(socket) => socket,
             None => Arc::new(Socket::connect(&server, CONNECT).ok()?),
--- a/crates/membership/src/board.rs
+++ b/crates/membership/src/board.rs
@@ -48,10 +48,17 @@
     pub fn take(&mut self, now: u64, entry: &Written) -> bool {
         let version = (entry.epoch, entry.life, entry.count);
         let at = (entry.owner.clone(), entry.key);
-        if entry.value.len() > MOST_VALUE || self.held.get(&at).is_some_and(|h| h.version >= version) {
+        if entry.value.len() > MOST_VALUE
+            || self.held.get(&at).is_some_and(|h| h.version >= version)
+        {
             return false;
         }
-        let held = Held { version, age: entry.age, came: now, value: entry.value.clone() };
+        let held = Held {
+            version,
+            age: entry.age,
+            came: now,
+            value: entry.value.clone(),
+        };
         self.held.insert(at, held);
         true
     }
@@ -62,12 +69,24 @@
         let (epoch, life, count) = held.version;
         let age = held.age.saturating_add(now.saturating_sub(held.came));
         let value = held.value.clone();
-        Some(Written { owner: owner.to_owned(), key, epoch, life, count, age, value })
+        Some(Written {
+            owner: owner.to_owned(),
+            key,
+            epoch,
+            life,
+            count,
+            age,
+            value,
+        })
     }
 
     pub fn read(&self, now: u64, owner: &str, key: u8) -> Option<Entry> {
         let w = self.written(now, owner, key)?;
-        Some(Entry { value: w.value, age: w.age, version: (w.epoch, w.life, w.count) })
+        Some(Entry {
+            value: w.value,
+            age: w.age,
+            version: (w.epoch, w.life, w.count),
+        })
     }
 
     /// The owners and keys from some place on, round about: what a digest tells of.
@@ -75,7 +94,13 @@
         let all = self.held.len();
         let of = |(at, held): (&(String, u8), &Held)| (at.0.clone(), at.1, held.version);
         let begin = if all == 0 { 0 } else { from % all };
-        self.held.iter().skip(begin).chain(self.held.iter().take(begin)).take(most).map(of).collect()
+        self.held
+            .iter()
+            .skip(begin)
+            .chain(self.held.iter().take(begin))
+            .take(most)
+            .map(of)
+            .collect()
     }
 
     pub fn version(&self, owner: &str, key: u8) -> Option<(u64, u64, u32)> {
