--- a/crates/membership/src/check.rs
+++ b/crates/membership/src/check.rs
@@ -13,7 +13,13 @@
 }
 
 fn start(i: usize, epoch: u64, life: u64) -> Peers {
-    let settings = Settings { name: name(i), address: name(i), epoch, life, ..Settings::default() };
+    let settings = Settings {
+        name: name(i),
+        address: name(i),
+        epoch,
+        life,
+        ..Settings::default()
+    };
     Peers::new(settings, 1, 0)
 }
 
@@ -58,9 +64,11 @@
         }
         let alive = |v: &Option<Standpoint>| v.is_some_and(|v| v.state == State::Alive);
         let views = fleet.views();
-        (0..MEMBERS)
-            .filter(|i| self.runs[*i])
-            .all(|i| (0..MEMBERS).filter(|j| self.runs[*j]).all(|j| alive(&views[i][j])))
+        (0..MEMBERS).filter(|i| self.runs[*i]).all(|i| {
+            (0..MEMBERS)
+                .filter(|j| self.runs[*j])
+                .all(|j| alive(&views[i][j]))
+        })
     }
 }
 
@@ -76,7 +84,15 @@
 
 impl Hash for Fleet {
     fn hash<H: Hasher>(&self, state: &mut H) {
-        (&self.runs, &self.net, self.tells, self.accusations, self.restarts, self.leaves).hash(state);
+        (
+            &self.runs,
+            &self.net,
+            self.tells,
+            self.accusations,
+            self.restarts,
+            self.leaves,
+        )
+            .hash(state);
         self.views().hash(state);
     }
 }
@@ -134,7 +150,9 @@
                     acts.push(Act::Tell(i, j));
                 }
                 if fleet.accusations > 0 {
-                    acts.extend([State::Suspect, State::Gone].map(|state| Act::Accuse(i, j, state)));
+                    acts.extend(
+                        [State::Suspect, State::Gone].map(|state| Act::Accuse(i, j, state)),
+                    );
                 }
             }
             if fleet.leaves > 0 {
@@ -201,21 +219,29 @@
 
     fn properties(&self) -> Vec<Property<Bounds>> {
         vec![
-            Property::always("nobody comes to know less", |_, fleet: &Fleet| !fleet.backwards),
-            Property::always("who left does not come back from old news", |_, fleet: &Fleet| {
-                // Of a member that does not run no view that holds its leave may hold anything but it.
-                let views = fleet.views();
-                (0..MEMBERS).filter(|j| !fleet.runs[*j]).all(|j| {
-                    let own = views[j][j];
-                    (0..MEMBERS).filter(|i| *i != j).all(|i| {
-                        let (Some(own), Some(view)) = (own, views[i][j]) else { return true };
-                        !view.same_life(&own) || !view.is_later_than(&own)
-                    })
-                })
-            }),
-            Property::always("once healed, who runs is alive to all", |_, fleet: &Fleet| {
-                fleet.agrees_once_healed()
+            Property::always("nobody comes to know less", |_, fleet: &Fleet| {
+                !fleet.backwards
             }),
+            Property::always(
+                "who left does not come back from old news",
+                |_, fleet: &Fleet| {
+                    // Of a member that does not run no view that holds its leave may hold anything but it.
+                    let views = fleet.views();
+                    (0..MEMBERS).filter(|j| !fleet.runs[*j]).all(|j| {
+                        let own = views[j][j];
+                        (0..MEMBERS).filter(|i| *i != j).all(|i| {
+                            let (Some(own), Some(view)) = (own, views[i][j]) else {
+                                return true;
+                            };
+                            !view.same_life(&own) || !view.is_later_than(&own)
+                        })
+                    })
+                },
+            ),
+            Property::always(
+                "once healed, who runs is alive to all",
+                |_, fleet: &Fleet| fleet.agrees_once_healed(),
+            ),
         ]
     }
 }
@@ -230,15 +256,34 @@
         begun.elapsed()
     );
     checker.assert_properties();
-    assert!(checker.unique_state_count() >= least, "the model is smaller than it was");
+    assert!(
+        checker.unique_state_count() >= least,
+        "the model is smaller than it was"
+    );
 }
 
 #[test]
 fn accusations_lost_late_and_doubled_news_and_a_leave() {
-    check(Bounds { tells: 2, accusations: 2, restarts: 0, leaves: 1 }, 1000);
+    check(
+        Bounds {
+            tells: 2,
+            accusations: 2,
+            restarts: 0,
+            leaves: 1,
+        },
+        1000,
+    );
 }
 
 #[test]
 fn a_restart_also_on_a_clock_set_back_amid_old_news() {
-    check(Bounds { tells: 3, accusations: 1, restarts: 1, leaves: 0 }, 1000);
+    check(
+        Bounds {
+            tells: 3,
+            accusations: 1,
+            restarts: 1,
+            leaves: 0,
+        },
+        1000,
+    );
 }
--- a/crates/membership/src/news.rs
+++ b/crates/membership/src/news.rs
@@ -36,7 +36,13 @@
 
 impl Standpoint {
     fn rank(&self) -> (u64, u64, bool, u32, State) {
-        (self.epoch, self.life, self.state == State::Left, self.count, self.state)
+        (
+            self.epoch,
+            self.life,
+            self.state == State::Left,
+            self.count,
+            self.state,
+        )
     }
 
     /// Whether this is news to one who knows `other`.
--- a/crates/membership/src/peers.rs
+++ b/crates/membership/src/peers.rs
@@ -218,11 +218,17 @@
 impl Peers {
     /// A member that knows nobody yet. `seed` feeds its choices of whom to ask.
     pub fn new(settings: Settings, seed: u64, now: u64) -> Peers {
-        let me = Standpoint { epoch: settings.epoch, life: settings.life, count: 0, state: State::Alive };
+        let me = Standpoint {
+            epoch: settings.epoch,
+            life: settings.life,
+            count: 0,
+            state: State::Alive,
+        };
         let mut rng = oorandom::Rand32::new(seed);
         // Fronts that start together do not ask together.
-        let within =
-            |rng: &mut oorandom::Rand32, time: u64| now + (f64::from(rng.rand_float()) * time as f64) as u64;
+        let within = |rng: &mut oorandom::Rand32, time: u64| {
+            now + (f64::from(rng.rand_float()) * time as f64) as u64
+        };
         Peers {
             me,
             started: now,
@@ -248,7 +254,10 @@
             gossip_at: u64::MAX,
             sync_at: within(&mut rng, 2 * SECOND),
             rejoin_at: now,
-            budget: (Budget::new(settings.datagrams, now), Budget::new(settings.bytes, now)),
+            budget: (
+                Budget::new(settings.datagrams, now),
+                Budget::new(settings.bytes, now),
+            ),
             counters: Counters::default(),
             settings,
             rng,
@@ -262,7 +271,10 @@
         }
         let probe = self.probe.as_ref().map_or(self.probe_at, |p| p.next());
         let suspicion = |name| self.others.get(name).and_then(|k| k.suspicion.as_ref());
-        let suspects = self.suspects.iter().filter_map(|name| Some(suspicion(name)?.until()));
+        let suspects = self
+            .suspects
+            .iter()
+            .filter_map(|name| Some(suspicion(name)?.until()));
         let helping = self.helping.values().map(|h| h.until);
         [probe, self.gossip_at, self.sync_at, self.rejoin_at]
             .into_iter()
@@ -299,12 +311,16 @@
     /// Danger: a process that stood still (a stop, a host without time) finds all its timers due: it would take for gone
     /// whoever had no chance to be heard. It finds itself late first.
     fn stood_still(&mut self, now: u64, by: u64) {
-        self.health.stood_still(now.saturating_add(3 * self.settings.probe_every));
+        self.health
+            .stood_still(now.saturating_add(3 * self.settings.probe_every));
         self.probe = None;
         self.probe_at = now;
         self.helping.clear();
         let again = 2 * self.settings.probe_every;
-        let suspicions = self.others.values_mut().filter_map(|k| k.suspicion.as_mut());
+        let suspicions = self
+            .others
+            .values_mut()
+            .filter_map(|k| k.suspicion.as_mut());
         suspicions.for_each(|s| s.put_off(by.saturating_add(again)));
     }
 
@@ -338,7 +354,10 @@
         if value.len() > MOST_VALUE || value.len() + 200 > MOST {
             return Err(MOST_VALUE);
         }
-        let count = self.board.version(&self.settings.name, key).map_or(0, |(_, _, count)| count);
+        let count = self
+            .board
+            .version(&self.settings.name, key)
+            .map_or(0, |(_, _, count)| count);
         self.write_as(now, key, value, count.saturating_add(1));
         Ok(())
     }
@@ -416,7 +435,12 @@
     /// Some members that may be asked, by chance, without one.
     fn some(&mut self, most: usize, but: &str) -> Vec<String> {
         let may = |(name, k): &(&String, &Known)| k.at.state <= State::Suspect && *name != but;
-        let mut names: Vec<&String> = self.others.iter().filter(may).map(|(name, _)| name).collect();
+        let mut names: Vec<&String> = self
+            .others
+            .iter()
+            .filter(may)
+            .map(|(name, _)| name)
+            .collect();
         for i in 0..most.min(names.len()) {
             let j = i + self.rng.rand_range(0..(names.len() - i) as u32) as usize;
             names.swap(i, j);
--- a/crates/membership/src/peers/hear.rs
+++ b/crates/membership/src/peers/hear.rs
@@ -35,7 +35,14 @@
                 // the successor, on a host whose wall clock was set back: it is told, and raises its epoch.
                 self.counters.old_lives += 1;
                 if self.may_answer(now, &name) {
-                    self.send(now, (&name, from), &Body::Gossip, &[Item::Member(name.clone())], 0.2, out);
+                    self.send(
+                        now,
+                        (&name, from),
+                        &Body::Gossip,
+                        &[Item::Member(name.clone())],
+                        0.2,
+                        out,
+                    );
                 }
                 return;
             }
@@ -54,7 +61,10 @@
     /// Danger: one that floods would have us answer as fast as it asks. It gets so many answers a second, and what it tells is
     /// taken all the same.
     fn may_answer(&mut self, now: u64, name: &str) -> bool {
-        let may = self.others.get_mut(name).is_none_or(|k| k.answers.take(now, 1.0, 0.0));
+        let may = self
+            .others
+            .get_mut(name)
+            .is_none_or(|k| k.answers.take(now, 1.0, 0.0));
         self.counters.floods += u64::from(!may);
         may
     }
@@ -67,8 +77,14 @@
             _ if !self.may_answer(now, name) => {}
             Body::Ping { seq } => {
                 // One that we take for gone hears so, and refutes.
-                let odd = self.others.get(name).is_some_and(|k| k.at.state != State::Alive);
-                let first: Vec<Item> = odd.then(|| Item::Member(name.to_owned())).into_iter().collect();
+                let odd = self
+                    .others
+                    .get(name)
+                    .is_some_and(|k| k.at.state != State::Alive);
+                let first: Vec<Item> = odd
+                    .then(|| Item::Member(name.to_owned()))
+                    .into_iter()
+                    .collect();
                 self.send(now, (name, from), &Body::Ack { seq }, &first, 0.0, out);
             }
             Body::PingFor { seq, target } if target == self.settings.name => {
@@ -99,14 +115,18 @@
                 }
                 if !better.is_empty() || !want.0.is_empty() || !want.1.is_empty() {
                     self.sync_soon(now); // Where two differ, others do.
-                    let want = Body::Want { members: want.0, entries: want.1 };
+                    let want = Body::Want {
+                        members: want.0,
+                        entries: want.1,
+                    };
                     self.send(now, (name, from), &want, &better, 0.2, out);
                 }
             }
             Body::Want { members, entries } => {
                 let items = members.into_iter().map(Item::Member);
-                let items: Vec<Item> =
-                    items.chain(entries.into_iter().map(|(o, k)| Item::Entry(o, k))).collect();
+                let items: Vec<Item> = items
+                    .chain(entries.into_iter().map(|(o, k)| Item::Entry(o, k)))
+                    .collect();
                 if !items.is_empty() {
                     self.send(now, (name, from), &Body::Gossip, &items, 0.2, out);
                 }
@@ -135,7 +155,10 @@
         match before {
             Some(before) if !at.is_later_than(&before) => {
                 // Another that suspects the same: the time to refute shortens, and that is told on.
-                let known = self.others.get_mut(name).filter(|_| at == before && at.state == State::Suspect);
+                let known = self
+                    .others
+                    .get_mut(name)
+                    .filter(|_| at == before && at.state == State::Suspect);
                 let Some(known) = known else { return };
                 if known.suspicion.as_mut().is_some_and(|s| s.confirm(by)) {
                     by.clone_into(&mut known.by);
@@ -150,7 +173,8 @@
         let restarted = before.is_some_and(|b| !b.same_life(&at));
         let changed = before.is_none_or(|b| b.state != at.state) || restarted;
         let every = self.settings.probe_every;
-        let suspicion = (at.state == State::Suspect).then(|| Suspicion::new(now, by, self.alive, every));
+        let suspicion =
+            (at.state == State::Suspect).then(|| Suspicion::new(now, by, self.alive, every));
         self.counted(before.map(|b| b.state), Some(at.state));
         let _ = if suspicion.is_some() {
             self.suspects.insert(name.to_owned())
@@ -248,7 +272,10 @@
         if entry.owner == self.settings.name {
             let held = self.board.version(&self.settings.name, entry.key);
             let own = held.is_some_and(|held| held == (entry.epoch, entry.life, entry.count));
-            if own || life < ours || held.is_some_and(|held| held > (entry.epoch, entry.life, entry.count)) {
+            if own
+                || life < ours
+                || held.is_some_and(|held| held > (entry.epoch, entry.life, entry.count))
+            {
                 return;
             }
             // A peer that wrote for us: we write over it. Where it counted beyond all reason, under a new epoch.
@@ -262,7 +289,10 @@
             return;
         }
         // Only what the owner's present life wrote counts.
-        let known = self.others.get(&entry.owner).filter(|k| k.at.state != State::Left);
+        let known = self
+            .others
+            .get(&entry.owner)
+            .filter(|k| k.at.state != State::Left);
         if known.is_some_and(|k| (k.at.epoch, k.at.life) == life) && self.board.take(now, entry) {
             self.push(Item::Entry(entry.owner.clone(), entry.key), now);
         }
--- a/crates/membership/src/peers/probe.rs
+++ b/crates/membership/src/peers/probe.rs
@@ -48,16 +48,33 @@
     }
 
     fn ask_helpers(&mut self, now: u64, out: &mut Vec<Output>) {
-        let Some(probe) = self.probe.as_mut().filter(|p| !p.acked && p.direct > 0 && now >= p.direct) else {
+        let Some(probe) = self
+            .probe
+            .as_mut()
+            .filter(|p| !p.acked && p.direct > 0 && now >= p.direct)
+        else {
             return;
         };
         probe.direct = 0;
         let (target, seq) = (probe.target.clone(), probe.seq);
         let helpers = self.some(self.settings.helpers, &target);
-        let ask = Body::PingFor { seq, target: target.clone() };
-        let asked = helpers.iter().filter(|h| self.send_to(now, h, &ask, &[], 0.0, out)).count();
+        let ask = Body::PingFor {
+            seq,
+            target: target.clone(),
+        };
+        let asked = helpers
+            .iter()
+            .filter(|h| self.send_to(now, h, &ask, &[], 0.0, out))
+            .count();
         // Once more directly: one lost datagram is more likely than a death.
-        self.send_to(now, &target, &Body::Ping { seq }, &[Item::Member(target.clone())], 0.0, out);
+        self.send_to(
+            now,
+            &target,
+            &Body::Ping { seq },
+            &[Item::Member(target.clone())],
+            0.0,
+            out,
+        );
         if let Some(probe) = &mut self.probe {
             probe.helpers = asked;
         }
@@ -74,7 +91,11 @@
                 }
                 continue;
             };
-            if self.others.get(&name).is_some_and(|k| k.at.state <= State::Suspect) {
+            if self
+                .others
+                .get(&name)
+                .is_some_and(|k| k.at.state <= State::Suspect)
+            {
                 break name;
             }
         };
@@ -84,12 +105,26 @@
         let ends = now.saturating_add(self.settings.probe_every.saturating_mul(scale));
         let seq = self.seq;
         // It is told if it is suspected, so that it can refute at once.
-        let suspected = self.others.get(&target).is_some_and(|k| k.at.state == State::Suspect);
-        let first: Vec<Item> = suspected.then(|| Item::Member(target.clone())).into_iter().collect();
+        let suspected = self
+            .others
+            .get(&target)
+            .is_some_and(|k| k.at.state == State::Suspect);
+        let first: Vec<Item> = suspected
+            .then(|| Item::Member(target.clone()))
+            .into_iter()
+            .collect();
         if self.send_to(now, &target, &Body::Ping { seq }, &first, 0.0, out) {
             let direct = now.saturating_add(answer).min(ends);
-            self.probe =
-                Some(Probe { target, seq, sent: now, direct, ends, acked: false, helpers: 0, nacks: 0 });
+            self.probe = Some(Probe {
+                target,
+                seq,
+                sent: now,
+                direct,
+                ends,
+                acked: false,
+                helpers: 0,
+                nacks: 0,
+            });
         }
     }
 
@@ -107,10 +142,17 @@
         if self.standing == Standing::CutOff || self.health.standing(now, 1) == Standing::CutOff {
             return;
         }
-        let Some(known) = self.others.get(&probe.target).filter(|k| k.at.state <= State::Suspect) else {
+        let Some(known) = self
+            .others
+            .get(&probe.target)
+            .filter(|k| k.at.state <= State::Suspect)
+        else {
             return;
         };
-        let at = Standpoint { state: State::Suspect, ..known.at };
+        let at = Standpoint {
+            state: State::Suspect,
+            ..known.at
+        };
         let (address, by) = (known.address.clone(), self.settings.name.clone());
         self.learn(now, &probe.target, &address, at, &by, out);
     }
@@ -129,7 +171,13 @@
                     known.suspicion.iter_mut().for_each(|s| s.put_off(SECOND));
                     continue;
                 }
-                let (at, address) = (Standpoint { state: State::Gone, ..known.at }, known.address.clone());
+                let (at, address) = (
+                    Standpoint {
+                        state: State::Gone,
+                        ..known.at
+                    },
+                    known.address.clone(),
+                );
                 self.counters.accused += 1;
                 let by = self.settings.name.clone();
                 self.learn(now, &name, &address, at, &by, out);
@@ -139,16 +187,34 @@
 
     /// Probes for others that came to nothing: their askers hear that at least we are there.
     pub(super) fn helps(&mut self, now: u64, out: &mut Vec<Output>) {
-        let over: Vec<u32> =
-            self.helping.iter().filter(|(_, h)| now >= h.until).map(|(seq, _)| *seq).collect();
+        let over: Vec<u32> = self
+            .helping
+            .iter()
+            .filter(|(_, h)| now >= h.until)
+            .map(|(seq, _)| *seq)
+            .collect();
         for seq in over {
             if let Some(help) = self.helping.remove(&seq) {
-                self.send_to(now, &help.name, &Body::Nack { seq: help.seq }, &[], 0.0, out);
+                self.send_to(
+                    now,
+                    &help.name,
+                    &Body::Nack { seq: help.seq },
+                    &[],
+                    0.0,
+                    out,
+                );
             }
         }
     }
 
-    pub(super) fn help(&mut self, now: u64, asker: &str, seq: u32, target: &str, out: &mut Vec<Output>) {
+    pub(super) fn help(
+        &mut self,
+        now: u64,
+        asker: &str,
+        seq: u32,
+        target: &str,
+        out: &mut Vec<Output>,
+    ) {
         self.seq = self.seq.wrapping_add(1);
         let own = self.seq;
         let until = now.saturating_add(self.settings.answer_within);
@@ -162,7 +228,14 @@
                 out,
             )
         {
-            self.helping.insert(own, Help { name: asker.to_owned(), seq, until });
+            self.helping.insert(
+                own,
+                Help {
+                    name: asker.to_owned(),
+                    seq,
+                    until,
+                },
+            );
         }
     }
 
@@ -170,12 +243,21 @@
         if let Some(help) = self.helping.remove(&seq) {
             self.send_to(now, &help.name, &Body::Ack { seq: help.seq }, &[], 0.0, out);
         }
-        let Some(probe) = self.probe.as_mut().filter(|p| p.seq == seq && !p.acked) else { return };
+        let Some(probe) = self.probe.as_mut().filter(|p| p.seq == seq && !p.acked) else {
+            return;
+        };
         probe.acked = true;
-        probe.ends = probe.ends.min(probe.sent.saturating_add(self.settings.probe_every).max(now));
+        probe.ends = probe.ends.min(
+            probe
+                .sent
+                .saturating_add(self.settings.probe_every)
+                .max(now),
+        );
         if probe.target == from {
             let rtt = now.saturating_sub(probe.sent);
-            self.others.entry(from.to_owned()).and_modify(|k| k.rtt = Some(rtt));
+            self.others
+                .entry(from.to_owned())
+                .and_modify(|k| k.rtt = Some(rtt));
         }
     }
 
--- a/crates/membership/src/peers/spread.rs
+++ b/crates/membership/src/peers/spread.rs
@@ -38,11 +38,21 @@
     fn news_of(&self, name: &str) -> Option<News> {
         if name == self.settings.name {
             let (address, by) = (self.settings.address.clone(), name.to_owned());
-            return Some(News { name: name.to_owned(), address, at: self.me, by });
+            return Some(News {
+                name: name.to_owned(),
+                address,
+                at: self.me,
+                by,
+            });
         }
         let known = self.others.get(name)?;
         let (address, by) = (known.address.clone(), known.by.clone());
-        Some(News { name: name.to_owned(), address, at: known.at, by })
+        Some(News {
+            name: name.to_owned(),
+            address,
+            at: known.at,
+            by,
+        })
     }
 
     /// Sends a datagram with what fits of what is new. `spare`: the part of the budget that must stay.
@@ -65,20 +75,25 @@
         let mut builder = Builder::new(&head, body);
         let mut told = Vec::new();
         let fresh: Vec<(u32, Item)> = self.pending.iter().take(40).cloned().collect();
-        for (times, item) in first.iter().map(|i| (None, i)).chain(fresh.iter().map(|(n, i)| (Some(*n), i))) {
+        for (times, item) in first
+            .iter()
+            .map(|i| (None, i))
+            .chain(fresh.iter().map(|(n, i)| (Some(*n), i)))
+        {
             let fits = match item {
                 Item::Member(name) => self.news_of(name).is_some_and(|news| builder.news(&news)),
-                Item::Entry(owner, key) => {
-                    self.board.written(now, owner, *key).is_some_and(|entry| builder.entry(&entry))
-                }
+                Item::Entry(owner, key) => self
+                    .board
+                    .written(now, owner, *key)
+                    .is_some_and(|entry| builder.entry(&entry)),
             };
             if let (true, Some(times)) = (fits, times) {
                 told.push((times, item.clone()));
             }
         }
         let bytes = builder.finish(&self.settings.key);
-        let enough =
-            self.budget.0.take(now, 1.0, spare) && self.budget.1.take(now, bytes.len() as f64, spare);
+        let enough = self.budget.0.take(now, 1.0, spare)
+            && self.budget.1.take(now, bytes.len() as f64, spare);
         if !enough {
             self.counters.held_back += 1;
             return false;
@@ -93,8 +108,15 @@
                 self.told.remove(&item);
             }
         }
-        self.counters.sent = (self.counters.sent.0 + 1, self.counters.sent.1 + bytes.len() as u64);
-        out.push(Output::Send { name: name.to_owned(), address: address.to_owned(), bytes });
+        self.counters.sent = (
+            self.counters.sent.0 + 1,
+            self.counters.sent.1 + bytes.len() as u64,
+        );
+        out.push(Output::Send {
+            name: name.to_owned(),
+            address: address.to_owned(),
+            bytes,
+        });
         true
     }
 
@@ -107,12 +129,18 @@
         spare: f64,
         out: &mut Vec<Output>,
     ) -> bool {
-        let Some(address) = self.others.get(name).map(|k| k.address.clone()) else { return false };
+        let Some(address) = self.others.get(name).map(|k| k.address.clone()) else {
+            return false;
+        };
         self.send(now, (name, &address), body, first, spare, out)
     }
 
     pub(super) fn gossip(&mut self, now: u64, out: &mut Vec<Output>) {
-        self.gossip_at = if self.pending.is_empty() { u64::MAX } else { now.saturating_add(GOSSIP) };
+        self.gossip_at = if self.pending.is_empty() {
+            u64::MAX
+        } else {
+            now.saturating_add(GOSSIP)
+        };
         if self.pending.is_empty() {
             return;
         }
@@ -129,17 +157,31 @@
     /// Tells one member a part of what is known, round about; it answers with what it knows better.
     pub(super) fn sync(&mut self, now: u64, out: &mut Vec<Output>) {
         self.sync_at = now.saturating_add(SYNC);
-        let Some(name) = self.some(1, "").pop() else { return };
+        let Some(name) = self.some(1, "").pop() else {
+            return;
+        };
         let all = self.others.len() + 1;
         self.digest = self.digest.wrapping_add(DIGEST.0);
         let begin = self.digest % all;
         let own = (self.settings.name.clone(), self.me);
         // Round about: cut off at the end, the first by name would be told of least.
-        let others = self.others.iter().cycle().skip(begin).take(DIGEST.0.min(self.others.len()));
+        let others = self
+            .others
+            .iter()
+            .cycle()
+            .skip(begin)
+            .take(DIGEST.0.min(self.others.len()));
         let mut members: Vec<_> = others.map(|(name, k)| (name.clone(), k.at)).collect();
         members.push(own);
         let entries = self.board.versions(self.digest, DIGEST.1);
-        self.send_to(now, &name, &Body::Digest { members, entries }, &[], SPARED, out);
+        self.send_to(
+            now,
+            &name,
+            &Body::Digest { members, entries },
+            &[],
+            SPARED,
+            out,
+        );
     }
 
     /// Looks for one that was lost, or for somebody at all. Danger: after a partition each side takes the other for gone and
@@ -147,24 +189,42 @@
     pub(super) fn rejoin(&mut self, now: u64, out: &mut Vec<Output>) {
         self.rejoin_at = now.saturating_add(REJOIN);
         let old = |k: &Known| k.at.state >= State::Gone && now.saturating_sub(k.since) >= FORGET;
-        let old: Vec<String> =
-            self.others.iter().filter(|(_, k)| old(k)).map(|(name, _)| name.clone()).collect();
+        let old: Vec<String> = self
+            .others
+            .iter()
+            .filter(|(_, k)| old(k))
+            .map(|(name, _)| name.clone())
+            .collect();
         for name in old {
             let forgotten = self.others.remove(&name);
             self.counted(forgotten.map(|k| k.at.state), None);
             self.board.forget(&name);
         }
-        let gone: Vec<String> =
-            self.others.iter().filter(|(_, k)| k.at.state == State::Gone).map(|(n, _)| n.clone()).collect();
+        let gone: Vec<String> = self
+            .others
+            .iter()
+            .filter(|(_, k)| k.at.state == State::Gone)
+            .map(|(n, _)| n.clone())
+            .collect();
         self.seq = self.seq.wrapping_add(1);
         let ping = Body::Ping { seq: self.seq };
         if !gone.is_empty() {
             let name = gone[self.rng.rand_range(0..gone.len() as u32) as usize].clone();
-            self.send_to(now, &name, &ping, &[Item::Member(name.clone())], SPARED, out);
+            self.send_to(
+                now,
+                &name,
+                &ping,
+                &[Item::Member(name.clone())],
+                SPARED,
+                out,
+            );
         }
         let unmet = |seed: &&String| {
             **seed != self.settings.address
-                && !self.others.values().any(|k| k.address == **seed && k.at.state < State::Gone)
+                && !self
+                    .others
+                    .values()
+                    .any(|k| k.address == **seed && k.at.state < State::Gone)
         };
         let unmet: Vec<String> = self.settings.seeds.iter().filter(unmet).cloned().collect();
         if !unmet.is_empty() {
@@ -176,7 +236,15 @@
     pub(super) fn write_as(&mut self, now: u64, key: u8, value: Vec<u8>, count: u32) {
         let owner = self.settings.name.clone();
         let (epoch, life) = (self.me.epoch, self.me.life);
-        let written = Written { owner: owner.clone(), key, epoch, life, count, age: 0, value };
+        let written = Written {
+            owner: owner.clone(),
+            key,
+            epoch,
+            life,
+            count,
+            age: 0,
+            value,
+        };
         self.own_entries.insert(key);
         if self.board.take(now, &written) {
             self.push(Item::Entry(owner, key), now);
@@ -198,10 +266,18 @@
     /// A datagram with all that is known here.
     pub(crate) fn all_it_knows(&self, to: &str) -> Vec<u8> {
         let (from, address) = (self.settings.name.clone(), self.settings.address.clone());
-        let head = Head { from, address, at: self.me, to: to.to_owned() };
+        let head = Head {
+            from,
+            address,
+            at: self.me,
+            to: to.to_owned(),
+        };
         let mut builder = Builder::new(&head, &Body::Gossip);
         for name in self.others.keys() {
-            assert!(self.news_of(name).is_some_and(|news| builder.news(&news)), "it fits");
+            assert!(
+                self.news_of(name).is_some_and(|news| builder.news(&news)),
+                "it fits"
+            );
         }
         builder.finish(&self.settings.key)
     }
--- a/crates/membership/src/suspicion.rs
+++ b/crates/membership/src/suspicion.rs
@@ -22,7 +22,12 @@
         let scale = (alive.max(1) as f64).log10().max(1.0);
         let needed = ENOUGH.min(u32::try_from(alive.saturating_sub(2)).unwrap_or(ENOUGH));
         let shortest = 4.0 * scale * every as f64;
-        Suspicion { since: now, shortest, needed, by: BTreeSet::from([by.to_owned()]) }
+        Suspicion {
+            since: now,
+            shortest,
+            needed,
+            by: BTreeSet::from([by.to_owned()]),
+        }
     }
 
     /// Another member says so; true if it had not before.
@@ -34,8 +39,11 @@
     pub fn until(&self) -> u64 {
         let longest = PATIENCE * self.shortest;
         let confirmed = (self.by.len() as f64 - 1.0).max(0.0);
-        let part =
-            if self.needed == 0 { 1.0 } else { (confirmed + 1.0).ln() / (f64::from(self.needed) + 1.0).ln() };
+        let part = if self.needed == 0 {
+            1.0
+        } else {
+            (confirmed + 1.0).ln() / (f64::from(self.needed) + 1.0).ln()
+        };
         let time = (longest - (longest - self.shortest) * part).max(self.shortest);
         self.since.saturating_add(time as u64)
     }
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -105,8 +105,12 @@
 
     /// False if it does not fit; nothing is added then.
     fn section<T: Serialize>(&mut self, kind: u8, of: &T) -> bool {
-        let Ok(bytes) = postcard::to_allocvec(of) else { return false };
-        let Ok(length) = u16::try_from(bytes.len()) else { return false };
+        let Ok(bytes) = postcard::to_allocvec(of) else {
+            return false;
+        };
+        let Ok(length) = u16::try_from(bytes.len()) else {
+            return false;
+        };
         if self.0.len() + 3 + bytes.len() > MOST {
             return false;
         }
@@ -152,7 +156,9 @@
     let (mut head, mut body, mut news, mut entries) = (None, None, Vec::new(), Vec::new());
     let mut rest = &bytes[HEADER..];
     while !rest.is_empty() {
-        let [kind, low, high, more @ ..] = rest else { return Err(Fault::Garbage) };
+        let [kind, low, high, more @ ..] = rest else {
+            return Err(Fault::Garbage);
+        };
         let length = usize::from(u16::from_le_bytes([*low, *high]));
         if length > more.len() {
             return Err(Fault::Garbage);
@@ -168,14 +174,21 @@
         rest = behind;
     }
     match (head, body) {
-        (Some(head), Some(body)) => Ok(Datagram { head, body, news, entries }),
+        (Some(head), Some(body)) => Ok(Datagram {
+            head,
+            body,
+            news,
+            entries,
+        }),
         _ => Err(Fault::Garbage),
     }
 }
 
 /// A section may be longer than what is known of it: a later version may add fields at its end.
 fn part<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Fault> {
-    postcard::take_from_bytes(bytes).map(|(part, _)| part).map_err(|_| Fault::Garbage)
+    postcard::take_from_bytes(bytes)
+        .map(|(part, _)| part)
+        .map_err(|_| Fault::Garbage)
 }
 
 #[cfg(test)]
@@ -184,19 +197,37 @@
     use crate::news::State;
 
     fn head() -> Head {
-        let at = Standpoint { epoch: 7, life: 8, count: 9, state: State::Alive };
-        Head { from: "a".into(), address: "x:1".into(), at, to: "b".into() }
+        let at = Standpoint {
+            epoch: 7,
+            life: 8,
+            count: 9,
+            state: State::Alive,
+        };
+        Head {
+            from: "a".into(),
+            address: "x:1".into(),
+            at,
+            to: "b".into(),
+        }
     }
 
     #[test]
     fn what_was_written_is_read_and_all_else_is_told_apart() {
         let (key, other) = ([1; 16], [2; 16]);
         let mut builder = Builder::new(&head(), &Body::Ping { seq: 5 });
-        let news = News { name: "c".into(), address: "y:2".into(), at: head().at, by: "a".into() };
+        let news = News {
+            name: "c".into(),
+            address: "y:2".into(),
+            at: head().at,
+            by: "a".into(),
+        };
         assert!(builder.news(&news));
         let bytes = builder.finish(&key);
         let datagram = read(&key, &bytes).expect("whole");
-        assert_eq!((&datagram.body, &datagram.news[..]), (&Body::Ping { seq: 5 }, &[news][..]));
+        assert_eq!(
+            (&datagram.body, &datagram.news[..]),
+            (&Body::Ping { seq: 5 }, &[news][..])
+        );
         assert_eq!(read(&other, &bytes), Err(Fault::Checksum), "another fleet");
         let mut later = bytes.clone();
         later[2] = 2;
@@ -207,7 +238,11 @@
         for at in 3..bytes.len() {
             let mut damaged = bytes.clone();
             damaged[at] ^= 0x10;
-            assert_eq!(read(&key, &damaged), Err(Fault::Checksum), "damaged at {at}");
+            assert_eq!(
+                read(&key, &damaged),
+                Err(Fault::Checksum),
+                "damaged at {at}"
+            );
         }
     }
 
@@ -217,7 +252,15 @@
         assert!(builder.section(200, &"what is not known yet"));
         assert!(builder.section(
             NEWS,
-            &(News { name: "c".into(), address: "y".into(), at: head().at, by: "a".into() }, 77u32)
+            &(
+                News {
+                    name: "c".into(),
+                    address: "y".into(),
+                    at: head().at,
+                    by: "a".into()
+                },
+                77u32
+            )
         ));
         let datagram = read(&[3; 16], &builder.finish(&[3; 16])).expect("readable");
         assert_eq!(datagram.news[0].name, "c");
@@ -226,9 +269,18 @@
     #[test]
     fn a_datagram_stays_within_its_bound() {
         let mut builder = Builder::new(&head(), &Body::Gossip);
-        let news = News { name: "n".repeat(60), address: "a".repeat(40), at: head().at, by: "a".into() };
+        let news = News {
+            name: "n".repeat(60),
+            address: "a".repeat(40),
+            at: head().at,
+            by: "a".into(),
+        };
         let count = (0..100).filter(|_| builder.news(&news)).count();
         let bytes = builder.finish(&[0; 16]);
-        assert!(count > 5 && bytes.len() <= MOST, "{count} in {} bytes", bytes.len());
+        assert!(
+            count > 5 && bytes.len() <= MOST,
+            "{count} in {} bytes",
+            bytes.len()
+        );
     }
 }
--- a/crates/net/examples/timed_waits.rs
+++ b/crates/net/examples/timed_waits.rs
@@ -9,13 +9,19 @@
 
 /// Times from 1 ms to `most` ms, each nanosecond of them alike, and hardly ever the same twice.
 fn drawn(state: &mut u64, most: u64) -> u64 {
-    *state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+    *state = state
+        .wrapping_mul(6_364_136_223_846_793_005)
+        .wrapping_add(1_442_695_040_888_963_407);
     1_000_000 + (*state >> 20) % (most * 1_000_000)
 }
 
 fn main() {
-    let arg =
-        |i: usize, default: usize| std::env::args().nth(i).and_then(|a| a.parse().ok()).unwrap_or(default);
+    let arg = |i: usize, default: usize| {
+        std::env::args()
+            .nth(i)
+            .and_then(|a| a.parse().ok())
+            .unwrap_or(default)
+    };
     let (workers, seconds) = (arg(1, 6), arg(2, 15));
     start(Some(workers));
     let counts: Arc<[AtomicU64; 2]> = Arc::default();
--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -8,7 +8,9 @@
 /// is by as much; but the clock itself never goes back, whatever is done to the host's.
 pub fn now() -> u64 {
     let (start, unix) = START.get_or_init(|| {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+        let unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or(Duration::ZERO);
         (Instant::now(), unix.as_nanos() as u64)
     });
     unix + start.elapsed().as_nanos() as u64
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -46,7 +46,10 @@
 impl Wire {
     /// A connection on which nothing was read.
     pub fn new(socket: Arc<Socket>) -> Wire {
-        Wire { socket, buffer: Vec::new() }
+        Wire {
+            socket,
+            buffer: Vec::new(),
+        }
     }
 
     /// What was read beyond the last message.
@@ -155,7 +158,9 @@
         let mut body = Body::new(framing, u64::MAX).map_err(|b| (0, b.into()))?;
         let (mut data, mut count) = (Vec::new(), 0);
         loop {
-            let taken = body.feed(&self.buffer, &mut data).map_err(|b| (count, b.into()))?;
+            let taken = body
+                .feed(&self.buffer, &mut data)
+                .map_err(|b| (count, b.into()))?;
             self.buffer.drain(..taken);
             count += data.len() as u64;
             data.clear();
@@ -163,7 +168,11 @@
                 return Ok(count);
             }
             if let Err(fault) = self.more() {
-                return if body.may_close() { Ok(count) } else { Err((count, fault)) };
+                return if body.may_close() {
+                    Ok(count)
+                } else {
+                    Err((count, fault))
+                };
             }
         }
     }
@@ -174,7 +183,13 @@
     /// Its body is framed in an unknown way.
     pub fn events(self, head: &Response, silence: u64) -> Result<Events, Fault> {
         let body = Body::new(head.framing()?, u64::MAX)?;
-        Ok(Events { wire: self, body, reader: Reader::default(), ready: Vec::new().into_iter(), silence })
+        Ok(Events {
+            wire: self,
+            body,
+            reader: Reader::default(),
+            ready: Vec::new().into_iter(),
+            silence,
+        })
     }
 }
 
@@ -201,7 +216,9 @@
             let (mut data, mut events) = (Vec::new(), Vec::new());
             let taken = self.body.feed(&self.wire.buffer, &mut data)?;
             self.wire.buffer.drain(..taken);
-            self.reader.feed(&data, &mut events).map_err(|e| Fault::Bad(Bad::request(e)))?;
+            self.reader
+                .feed(&data, &mut events)
+                .map_err(|e| Fault::Bad(Bad::request(e)))?;
             self.ready = events.into_iter();
             if self.ready.len() == 0 {
                 if self.body.done() {
--- a/crates/net/src/outbox.rs
+++ b/crates/net/src/outbox.rs
@@ -14,7 +14,11 @@
 impl Outbox {
     /// An outbox in which at most `most` bytes wait.
     pub fn new(socket: Arc<Socket>, most: usize) -> Outbox {
-        Outbox { socket, most, pending: Mutex::new(Vec::new()) }
+        Outbox {
+            socket,
+            most,
+            pending: Mutex::new(Vec::new()),
+        }
     }
 
     /// The socket.
@@ -24,7 +28,10 @@
 
     /// Whether nothing waits: all that was sent is the kernel's.
     pub fn is_empty(&self) -> bool {
-        self.pending.lock().unwrap_or_else(PoisonError::into_inner).is_empty()
+        self.pending
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .is_empty()
     }
 
     /// Sends, or keeps what the kernel does not take for [`Outbox::flush`]. Never waits. False if the peer was cut; no byte of
@@ -32,7 +39,11 @@
     pub fn push(&self, bytes: &[u8]) -> bool {
         // The lock is held over calls that do not wait.
         let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
-        let sent = if pending.is_empty() { self.socket.try_write(bytes) } else { Ok(0) };
+        let sent = if pending.is_empty() {
+            self.socket.try_write(bytes)
+        } else {
+            Ok(0)
+        };
         let cut = match sent {
             Ok(n) => {
                 pending.extend_from_slice(&bytes[n..]);
--- a/crates/net/src/runtime.rs
+++ b/crates/net/src/runtime.rs
@@ -171,15 +171,20 @@
     fn timers_are_set_to_few_different_times_and_never_beyond_what_is_asked() {
         let times = (0..200_000u64).map(|n| Duration::from_micros(n * n / 7 + n));
         let steps: Vec<(Duration, Duration)> = times.map(|time| (time, step(time))).collect();
-        assert!(steps.iter().all(|(time, step)| *step <= (*time).max(SHORTEST) && *step * 2 > *time));
-        let different: std::collections::BTreeSet<Duration> = steps.iter().map(|(_, step)| *step).collect();
+        assert!(steps
+            .iter()
+            .all(|(time, step)| *step <= (*time).max(SHORTEST) && *step * 2 > *time));
+        let different: std::collections::BTreeSet<Duration> =
+            steps.iter().map(|(_, step)| *step).collect();
         assert!((20..64).contains(&different.len()), "{}", different.len());
         assert!(step(Duration::MAX) >= Duration::from_secs(1 << 40));
     }
 
     /// Times from 1 ms to `most` ms, hardly ever the same twice.
     fn drawn(state: &mut u64, most: u64) -> u64 {
-        *state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        *state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
         1_000_000 + (*state >> 20) % (most * 1_000_000)
     }
 
@@ -209,7 +214,9 @@
             });
         }
         // On a thread: a wait of may would stand still with the rest.
-        let ended = (0..PAIRS).take_while(|_| all.recv_timeout(Duration::from_secs(30)).is_ok()).count();
+        let ended = (0..PAIRS)
+            .take_while(|_| all.recv_timeout(Duration::from_secs(30)).is_ok())
+            .count();
         assert_eq!(ended as u64, PAIRS);
     }
 
@@ -218,7 +225,9 @@
         start(Some(2));
         let (done, result) = std::sync::mpsc::channel();
         spawn(Stack::Usual, move || drop(done.send(f())));
-        result.recv_timeout(Duration::from_secs(60)).expect("the coroutine ends")
+        result
+            .recv_timeout(Duration::from_secs(60))
+            .expect("the coroutine ends")
     }
 
     #[test]
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -46,7 +46,11 @@
     pub fn new(tcp: TcpStream) -> Socket {
         let _ = tcp.set_nodelay(true); // Only slower without it.
         let tcp = ManuallyDrop::new(Box::new(tcp));
-        Socket { tcp, expires: AtomicU64::new(u64::MAX), shut: AtomicBool::new(false) }
+        Socket {
+            tcp,
+            expires: AtomicU64::new(u64::MAX),
+            shut: AtomicBool::new(false),
+        }
     }
 
     /// Connects within a time. Call in a coroutine.
@@ -62,7 +66,8 @@
     #[allow(unsafe_code)]
     pub fn connect(address: &SocketAddr, within: Duration) -> io::Result<Socket> {
         let domain = socket2::Domain::for_address(*address);
-        let socket = socket2::Socket::new(domain, socket2::Type::STREAM, Some(socket2::Protocol::TCP))?;
+        let socket =
+            socket2::Socket::new(domain, socket2::Type::STREAM, Some(socket2::Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         let until = after(within.max(SHORTEST).as_nanos() as u64);
         if let Err(e) = socket.connect(&(*address).into()) {
@@ -78,7 +83,9 @@
             if socket.peer_addr().is_ok() {
                 // SAFETY: the descriptor was made here and is given away by `into_raw_fd`: nobody else owns it. may has no
                 // safe way to take a stream over.
-                return Ok(Socket::new(unsafe { TcpStream::from_raw_fd(socket.into_raw_fd()) }));
+                return Ok(Socket::new(unsafe {
+                    TcpStream::from_raw_fd(socket.into_raw_fd())
+                }));
             }
             if clock::now() >= until {
                 return Err(ErrorKind::TimedOut.into());
@@ -292,7 +299,10 @@
         let mut retired = RETIRED.lock().unwrap_or_else(PoisonError::into_inner);
         retired.push_back((now, tcp));
         let due = |of: &VecDeque<(u64, Box<TcpStream>)>| {
-            of.len() > MOST_RETIRED || of.front().is_some_and(|(at, _)| now.saturating_sub(*at) > RETIRE_FOR)
+            of.len() > MOST_RETIRED
+                || of
+                    .front()
+                    .is_some_and(|(at, _)| now.saturating_sub(*at) > RETIRE_FOR)
         };
         while due(&retired) {
             freed.extend(retired.pop_front());
@@ -308,7 +318,11 @@
 /// The address is in use or not this machine's.
 #[allow(unsafe_code)]
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = socket2::Socket::new(socket2::Domain::for_address(address), socket2::Type::STREAM, None)?;
+    let socket = socket2::Socket::new(
+        socket2::Domain::for_address(address),
+        socket2::Type::STREAM,
+        None,
+    )?;
     socket.set_reuse_address(true)?; // A restart need not wait for old connections to be forgotten.
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
--- a/crates/net/src/sweep.rs
+++ b/crates/net/src/sweep.rs
@@ -24,7 +24,10 @@
                     None => false,
                 };
                 // The lock is held over calls that do not wait.
-                sockets.lock().unwrap_or_else(PoisonError::into_inner).retain(alive);
+                sockets
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .retain(alive);
                 drop(sockets);
                 sleep(every);
             }
@@ -34,6 +37,9 @@
 
     /// Watches a socket from now on.
     pub fn watch(&self, socket: &Arc<Socket>) {
-        self.sockets.lock().unwrap_or_else(PoisonError::into_inner).push(Arc::downgrade(socket));
+        self.sockets
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(Arc::downgrade(socket));
     }
 }
--- a/crates/net/tests/connect.rs
+++ b/crates/net/tests/connect.rs
@@ -22,7 +22,11 @@
     }
     let until = Instant::now() + Duration::from_secs(60);
     while left.load(Ordering::Acquire) > 0 {
-        assert!(Instant::now() < until, "{} are stuck", left.load(Ordering::Acquire));
+        assert!(
+            Instant::now() < until,
+            "{} are stuck",
+            left.load(Ordering::Acquire)
+        );
         std::thread::sleep(Duration::from_millis(5));
     }
 }
@@ -73,16 +77,21 @@
 fn a_connection_that_does_not_come_about_ends_in_time() {
     // A listener whose queue is full takes no more: what comes then waits in vain.
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    socket
+        .bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into())
+        .unwrap();
     socket.listen(0).unwrap();
     let address = socket.local_addr().unwrap().as_socket().unwrap();
-    let held: Vec<_> =
-        (0..8).map(|_| std::net::TcpStream::connect_timeout(&address, Duration::from_millis(50))).collect();
+    let held: Vec<_> = (0..8)
+        .map(|_| std::net::TcpStream::connect_timeout(&address, Duration::from_millis(50)))
+        .collect();
     assert!(held.iter().any(|h| h.is_err()), "the queue is full");
     in_many(move |n| {
         if n == 0 {
             let begun = Instant::now();
-            let e = Socket::connect(&address, Duration::from_millis(100)).err().map(|e| e.kind());
+            let e = Socket::connect(&address, Duration::from_millis(100))
+                .err()
+                .map(|e| e.kind());
             assert_eq!(e, Some(ErrorKind::TimedOut));
             assert!(begun.elapsed() >= Duration::from_millis(100));
         }
--- a/crates/node-protocol/src/config.rs
+++ b/crates/node-protocol/src/config.rs
@@ -138,7 +138,8 @@
     /// What is wrong, in one line.
     pub fn parse(text: &[u8]) -> Result<Config, String> {
         let raw: Raw = serde_json::from_slice(text).map_err(|e| e.to_string())?;
-        let seed = u64::from_str_radix(&raw.seed, 16).map_err(|_| "seed: not a hexadecimal number")?;
+        let seed =
+            u64::from_str_radix(&raw.seed, 16).map_err(|_| "seed: not a hexadecimal number")?;
         let fleet = crankpaddle_settings::parse(raw.settings.get().as_bytes())
             .map_err(|e| format!("settings: {e}"))?;
         if fleet.classes.iter().any(String::is_empty) || fleet.deadlines.contains(&0) {
@@ -175,7 +176,10 @@
             seed,
             limits: raw.limits,
             nameserver: raw.nameserver,
-            known: List { serial: raw.known.seq, entries },
+            known: List {
+                serial: raw.known.seq,
+                entries,
+            },
             fleet,
         })
     }
--- a/crates/node-protocol/src/directory.rs
+++ b/crates/node-protocol/src/directory.rs
@@ -131,10 +131,13 @@
     if head.truncation {
         return Err(Fault::Truncated);
     }
-    let serial = message.authorities.iter().find_map(|record| match &record.data {
-        RData::SOA(soa) => Some(soa.serial),
-        _ => None,
-    });
+    let serial = message
+        .authorities
+        .iter()
+        .find_map(|record| match &record.data {
+            RData::SOA(soa) => Some(soa.serial),
+            _ => None,
+        });
     let serial = serial.ok_or(Fault::NoSerial)?;
     let (mut addresses, mut texts) = (HashMap::new(), HashMap::new());
     let mut servers = Vec::new();
@@ -143,7 +146,10 @@
             RData::SRV(srv) => servers.push(srv.clone()),
             RData::A(a) => drop(addresses.insert(record.name.to_lowercase(), IpAddr::from(a.0))),
             RData::TXT(txt) => {
-                let fields = txt.txt_data.iter().map(|text| String::from_utf8_lossy(text).into_owned());
+                let fields = txt
+                    .txt_data
+                    .iter()
+                    .map(|text| String::from_utf8_lossy(text).into_owned());
                 texts.insert(record.name.to_lowercase(), fields.collect::<Vec<_>>());
             }
             _ => {}
@@ -151,23 +157,37 @@
     }
     let entries = servers.iter().map(|srv| {
         let target = srv.target.to_lowercase();
-        let labels: Vec<String> =
-            target.iter().map(|label| String::from_utf8_lossy(label).into_owned()).collect();
+        let labels: Vec<String> = target
+            .iter()
+            .map(|label| String::from_utf8_lossy(label).into_owned())
+            .collect();
         let name = labels.first().cloned().unwrap_or_default();
         let bad = || Fault::Server(name.clone());
         let address = addresses.get(&target).ok_or_else(bad)?;
         let text = texts.get(&target).ok_or_else(bad)?;
-        let field = |key: &str| text.iter().find_map(|t| t.strip_prefix(key)?.strip_prefix('='));
+        let field = |key: &str| {
+            text.iter()
+                .find_map(|t| t.strip_prefix(key)?.strip_prefix('='))
+        };
         Ok(Entry {
             address: SocketAddr::new(*address, srv.port),
             zone: labels.get(1).cloned().unwrap_or_default(),
             kind: field("kind").ok_or_else(bad)?.to_owned(),
             cell: field("cell").and_then(|v| v.parse().ok()).ok_or_else(bad)?,
-            state: if srv.priority == 0 { State::Ready } else { State::Draining },
+            state: if srv.priority == 0 {
+                State::Ready
+            } else {
+                State::Draining
+            },
             weight: f64::from(srv.weight) / 10.0,
-            started_ms: field("started").and_then(|v| v.parse().ok()).ok_or_else(bad)?,
+            started_ms: field("started")
+                .and_then(|v| v.parse().ok())
+                .ok_or_else(bad)?,
             name,
         })
     });
-    Ok(List { serial, entries: entries.collect::<Result<_, Fault>>()? })
+    Ok(List {
+        serial,
+        entries: entries.collect::<Result<_, Fault>>()?,
+    })
 }
--- a/crates/node-protocol/src/rtsp.rs
+++ b/crates/node-protocol/src/rtsp.rs
@@ -73,7 +73,10 @@
 
     /// A header, whatever the case of its name.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
+        self.headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
     }
 
     /// Whether it releases a session.
@@ -83,22 +86,39 @@
 
     /// The cause of a release, if it has one.
     pub fn cause(&self) -> Option<u16> {
-        self.header("Reason")?.trim().strip_prefix("cause=")?.trim().parse().ok()
+        self.header("Reason")?
+            .trim()
+            .strip_prefix("cause=")?
+            .trim()
+            .parse()
+            .ok()
     }
 
     /// The figures of a load report (`x0:0.4;x1:0.8`); what can't be read is left out.
     pub fn state(&self) -> Vec<(&str, f64)> {
         let figure = |part: &'_ str| -> Option<(usize, f64)> {
             let (name, value) = part.split_once(':')?;
-            value.trim().parse::<f64>().ok().filter(|v| v.is_finite()).map(|v| (name.len(), v))
+            value
+                .trim()
+                .parse::<f64>()
+                .ok()
+                .filter(|v| v.is_finite())
+                .map(|v| (name.len(), v))
         };
         let parts = self.header("X-State").unwrap_or_default().split(';');
-        parts.filter_map(|part| figure(part).map(|(n, v)| (part[..n].trim(), v))).collect()
+        parts
+            .filter_map(|part| figure(part).map(|(n, v)| (part[..n].trim(), v)))
+            .collect()
     }
 
     /// A note on a session: its name and figure.
     pub fn note(&self) -> Option<(&str, f64)> {
-        let figure = self.header("Figure")?.trim().parse::<f64>().ok().filter(|v| v.is_finite())?;
+        let figure = self
+            .header("Figure")?
+            .trim()
+            .parse::<f64>()
+            .ok()
+            .filter(|v| v.is_finite())?;
         Some((self.header("X-Note")?.trim(), figure))
     }
 }
@@ -137,7 +157,13 @@
 
 fn read(rest: &[u8]) -> Result<Option<(Message, usize)>, Fault> {
     let within = &rest[..rest.len().min(MOST)];
-    let more = || if rest.len() >= MOST { Err(Fault::TooLong) } else { Ok(None) };
+    let more = || {
+        if rest.len() >= MOST {
+            Err(Fault::TooLong)
+        } else {
+            Ok(None)
+        }
+    };
     let Some((first, mut at)) = line(within) else {
         // What begins like nothing that is ever sent need not be waited for to its end.
         let begun = within.first().is_none_or(u8::is_ascii_uppercase);
@@ -146,7 +172,9 @@
     let kind = start_line(first)?;
     let (mut headers, mut length, mut number, mut session) = (Vec::new(), None, None, None);
     loop {
-        let Some((text, taken)) = line(&within[at..]) else { return more() };
+        let Some((text, taken)) = line(&within[at..]) else {
+            return more();
+        };
         at += taken;
         if text.is_empty() {
             break;
@@ -159,7 +187,11 @@
         let value = value.trim();
         if name.eq_ignore_ascii_case("Content-Length") {
             let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
-            let bytes = value.parse::<usize>().ok().filter(|_| digits).ok_or(Fault::Length)?;
+            let bytes = value
+                .parse::<usize>()
+                .ok()
+                .filter(|_| digits)
+                .ok_or(Fault::Length)?;
             if length.replace(bytes).is_some() {
                 return Err(Fault::Header);
             }
@@ -177,20 +209,39 @@
     }
     // Danger: a claimed length is never trusted with memory or time; what can't be a message ends the stream at once.
     let length = length.ok_or(Fault::Length)?;
-    let end = at.checked_add(length).filter(|end| *end <= MOST).ok_or(Fault::TooLong)?;
-    let Some(body) = rest.get(at..end) else { return Ok(None) };
+    let end = at
+        .checked_add(length)
+        .filter(|end| *end <= MOST)
+        .ok_or(Fault::TooLong)?;
+    let Some(body) = rest.get(at..end) else {
+        return Ok(None);
+    };
     let body = body.to_vec();
     let (cseq, session) = (number.flatten(), session.flatten());
-    Ok(Some((Message { kind, cseq, session, headers, body }, end)))
+    Ok(Some((
+        Message {
+            kind,
+            cseq,
+            session,
+            headers,
+            body,
+        },
+        end,
+    )))
 }
 
 fn start_line(text: &[u8]) -> Result<Kind, Fault> {
     let text = std::str::from_utf8(text).map_err(|_| Fault::StartLine)?;
     let mut words = text.splitn(3, ' ');
-    let (Some(first), Some(second)) = (words.next(), words.next()) else { return Err(Fault::StartLine) };
+    let (Some(first), Some(second)) = (words.next(), words.next()) else {
+        return Err(Fault::StartLine);
+    };
     if first == "RTSP/1.0" {
         let digits = second.len() == 3 && second.bytes().all(|b| b.is_ascii_digit());
-        let status = second.parse::<u16>().ok().filter(|s| digits && (100..600).contains(s));
+        let status = second
+            .parse::<u16>()
+            .ok()
+            .filter(|s| digits && (100..600).contains(s));
         return status.map(Kind::Response).ok_or(Fault::StartLine);
     }
     let method = !first.is_empty() && first.bytes().all(|b| b.is_ascii_uppercase() || b == b'_');
@@ -234,13 +285,20 @@
 /// A set-up.
 pub fn set_up(s: &SetUp<'_>) -> Vec<u8> {
     let mut text = request("SETUP", s.title, cseq::SET_UP, Some(s.tag));
-    let _ = write!(text, "Subject: {}\r\nX-Patience: {}\r\nRate-Step: {}\r\n", s.class, s.patience, s.rung);
+    let _ = write!(
+        text,
+        "Subject: {}\r\nX-Patience: {}\r\nRate-Step: {}\r\n",
+        s.class, s.patience, s.rung
+    );
     end(text, s.blob)
 }
 
 /// A set-up is given up.
 pub fn give_up(tag: Tag) -> Vec<u8> {
-    end(request("TEARDOWN", tag.as_str(), cseq::TEAR_DOWN, Some(tag)), "")
+    end(
+        request("TEARDOWN", tag.as_str(), cseq::TEAR_DOWN, Some(tag)),
+        "",
+    )
 }
 
 /// A session that stands, or may stand, is released.
--- a/crates/node-protocol/src/tag.rs
+++ b/crates/node-protocol/src/tag.rs
@@ -8,7 +8,10 @@
     /// Reads a tag; `None` unless it is 16 hex digits.
     pub fn parse(text: &str) -> Option<Tag> {
         let digits: [u8; 16] = text.as_bytes().try_into().ok()?;
-        digits.iter().all(u8::is_ascii_hexdigit).then_some(Tag(digits))
+        digits
+            .iter()
+            .all(u8::is_ascii_hexdigit)
+            .then_some(Tag(digits))
     }
 
     /// As text.
--- a/crates/node-protocol/src/viewers.rs
+++ b/crates/node-protocol/src/viewers.rs
@@ -95,7 +95,11 @@
         self.0.feed(bytes, |rest| {
             let within = &rest[..rest.len().min(MOST)];
             let Some(end) = within.iter().position(|b| *b == b'\n') else {
-                return if rest.len() >= MOST { Err(Fault::TooLong) } else { Ok(0) };
+                return if rest.len() >= MOST {
+                    Err(Fault::TooLong)
+                } else {
+                    Ok(0)
+                };
             };
             out.push(read(&rest[..end])?);
             Ok(end + 1)
@@ -122,12 +126,27 @@
                 Value::Number(number) => Ok((name, number.to_string())),
                 _ => Err(no("a field that is neither text nor a number")),
             };
-            let opts = line.opts.into_iter().map(text).collect::<Result<Opts, Fault>>()?;
-            Ok(Message::Start(SetUp { tag, opts, blob: line.blob }))
+            let opts = line
+                .opts
+                .into_iter()
+                .map(text)
+                .collect::<Result<Opts, Fault>>()?;
+            Ok(Message::Start(SetUp {
+                tag,
+                opts,
+                blob: line.blob,
+            }))
         }
         "FINISH" => {
-            let cause = line.rc.as_ref().and_then(Value::as_u64).and_then(|rc| u16::try_from(rc).ok());
-            Ok(Message::Finish { tag, cause: cause.ok_or_else(|| no("a release without a cause"))? })
+            let cause = line
+                .rc
+                .as_ref()
+                .and_then(Value::as_u64)
+                .and_then(|rc| u16::try_from(rc).ok());
+            Ok(Message::Finish {
+                tag,
+                cause: cause.ok_or_else(|| no("a release without a cause"))?,
+            })
         }
         "ECHO" => Ok(Message::Echo(tag)),
         "PENDING" | "FINISHED" | "NOTICE" | "ECHOED" => Ok(Message::Idle),
@@ -180,19 +199,30 @@
             ..Ask::default()
         };
         if let Some(hint) = opt("hint") {
-            let hint = hint.parse::<f64>().ok().filter(|h| h.is_finite() && (0.0..=1e12).contains(h));
+            let hint = hint
+                .parse::<f64>()
+                .ok()
+                .filter(|h| h.is_finite() && (0.0..=1e12).contains(h));
             ask.hint = Some(hint.ok_or("hint")?);
         }
         let key = opt("key").ok_or("key")?;
         ask.title = hex(key).ok_or("key")?;
         ask.key = key.to_owned();
         let mut found = 0;
-        for part in opt("extras").ok_or("extras")?.split(';').filter(|part| !part.is_empty()) {
+        for part in opt("extras")
+            .ok_or("extras")?
+            .split(';')
+            .filter(|part| !part.is_empty())
+        {
             let (name, value) = part.split_once(':').ok_or("extras")?;
             match name {
                 "home" => ask.home = small(value).ok_or("home")?,
                 "copies" => ask.copies = small(value).filter(|n| *n > 0).ok_or("copies")?,
-                "top" => ask.top = small(value).and_then(|top| u8::try_from(top).ok()).ok_or("top")?,
+                "top" => {
+                    ask.top = small(value)
+                        .and_then(|top| u8::try_from(top).ok())
+                        .ok_or("top")?
+                }
                 "viewer" => ask.viewer = hex(value).ok_or("viewer")?,
                 "again" => ask.again |= flag(Some(value)).ok_or("again")?,
                 "moved" => ask.moved = flag(Some(value)).ok_or("moved")?,
@@ -206,7 +236,11 @@
         }
         // Nobody waits for one that plays already: what its field says there means nothing.
         let left = whole(opt("left")).filter(|left| *left > 0);
-        ask.left = if ask.at.is_some() { left.unwrap_or(0) } else { left.ok_or("left")? };
+        ask.left = if ask.at.is_some() {
+            left.unwrap_or(0)
+        } else {
+            left.ok_or("left")?
+        };
         if ask.at.is_none() && self.blob.is_none() {
             return Err("blob");
         }
@@ -216,11 +250,16 @@
 
 fn whole(text: Option<&str>) -> Option<u64> {
     let text = text?;
-    text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok()).flatten()
+    text.bytes()
+        .all(|b| b.is_ascii_digit())
+        .then(|| text.parse().ok())
+        .flatten()
 }
 
 fn small(text: &str) -> Option<u32> {
-    whole(Some(text)).and_then(|n| u32::try_from(n).ok()).filter(|n| *n < 65_536)
+    whole(Some(text))
+        .and_then(|n| u32::try_from(n).ok())
+        .filter(|n| *n < 65_536)
 }
 
 fn hex(text: &str) -> Option<u64> {
--- a/crates/node-protocol/tests/codecs.rs
+++ b/crates/node-protocol/tests/codecs.rs
@@ -9,7 +9,11 @@
 }
 
 /// Feeds bytes in pieces of these sizes, over and over, until one is refused; how it was.
-fn cut<E>(bytes: &[u8], pieces: &[usize], mut feed: impl FnMut(&[u8]) -> Result<(), E>) -> Option<E> {
+fn cut<E>(
+    bytes: &[u8],
+    pieces: &[usize],
+    mut feed: impl FnMut(&[u8]) -> Result<(), E>,
+) -> Option<E> {
     let mut at = 0;
     for size in pieces.iter().copied().cycle() {
         let end = (at + size.max(1)).min(bytes.len());
@@ -56,9 +60,16 @@
 
 #[test]
 fn a_set_up_is_read_with_its_figures() {
-    let ask = ask("home:4;copies:3;top:4;viewer:00000000b4d65521;again:1;later:x", "1500").expect("in range");
+    let ask = ask(
+        "home:4;copies:3;top:4;viewer:00000000b4d65521;again:1;later:x",
+        "1500",
+    )
+    .expect("in range");
     assert_eq!((ask.home, ask.copies, ask.top, ask.left), (4, 3, 4, 1500));
-    assert_eq!((ask.viewer, ask.title), (0xb4d6_5521, 0x7f3a_9c21_e0b4_d655));
+    assert_eq!(
+        (ask.viewer, ask.title),
+        (0xb4d6_5521, 0x7f3a_9c21_e0b4_d655)
+    );
     assert_eq!((ask.again, ask.moved, ask.at), (true, false, None));
 }
 
@@ -75,10 +86,26 @@
         (EXTRAS, "0", "left"),
         (EXTRAS, "99999999999999999999999", "left"),
         (EXTRAS, "1e3", "left"),
-        ("home:-4;copies:3;top:4;viewer:00000000b4d65521", "9", "home"),
-        ("home:4;copies:0;top:4;viewer:00000000b4d65521", "9", "copies"),
-        ("home:4;copies:3;top:300;viewer:00000000b4d65521", "9", "top"),
-        ("home:4;copies:3;top:nan;viewer:00000000b4d65521", "9", "top"),
+        (
+            "home:-4;copies:3;top:4;viewer:00000000b4d65521",
+            "9",
+            "home",
+        ),
+        (
+            "home:4;copies:0;top:4;viewer:00000000b4d65521",
+            "9",
+            "copies",
+        ),
+        (
+            "home:4;copies:3;top:300;viewer:00000000b4d65521",
+            "9",
+            "top",
+        ),
+        (
+            "home:4;copies:3;top:nan;viewer:00000000b4d65521",
+            "9",
+            "top",
+        ),
         ("home:4;copies:3;top:4;viewer:b4d65521", "9", "viewer"),
         ("home:4;copies:3;top:4", "9", "extras"),
         ("nonsense", "9", "extras"),
@@ -144,7 +171,10 @@
         read(viewers::echoed(tag(0xab))),
         serde_json::json!({"verb": "ECHOED", "tag": t, "opts": {}, "rc": 1})
     );
-    assert_eq!(read(viewers::moved(tag(0xab))), serde_json::json!({"verb": "MOVE", "tag": t, "opts": {}}));
+    assert_eq!(
+        read(viewers::moved(tag(0xab))),
+        serde_json::json!({"verb": "MOVE", "tag": t, "opts": {}})
+    );
 }
 
 #[test]
@@ -182,7 +212,10 @@
     let (messages, fault) = servers_said(&answer(5, "a\r\n\r\nb\u{e9}"), &[3]);
     assert_eq!((messages.len(), fault), (1, None));
     let m = &messages[0];
-    assert_eq!((m.kind.clone(), m.cseq, m.session), (Kind::Response(200), Some(1), Some(tag(5))));
+    assert_eq!(
+        (m.kind.clone(), m.cseq, m.session),
+        (Kind::Response(200), Some(1), Some(tag(5)))
+    );
     assert_eq!(m.state(), [("x0", 0.75), ("x1", 1.5)]);
     assert_eq!(m.text(), Some("a\r\n\r\nb\u{e9}"));
 }
@@ -195,7 +228,10 @@
     assert_eq!(messages[0].note(), Some(("link_use", 0.925)));
     let bytes = rtsp::release(tag(3), 41);
     assert_eq!(servers_said(&bytes, &[1]).0[0].cause(), Some(41));
-    assert_eq!(servers_said(&rtsp::give_up(tag(3)), &[1]).0[0].cause(), None);
+    assert_eq!(
+        servers_said(&rtsp::give_up(tag(3)), &[1]).0[0].cause(),
+        None
+    );
 }
 
 #[test]
@@ -203,16 +239,26 @@
     let with = |length: &str| format!("RTSP/1.0 200 OK\r\nCSeq: 1\r\n{length}\r\n");
     for (head, fault) in [
         ("Content-Length: 3000000000\r\n", rtsp::Fault::TooLong),
-        ("Content-Length: 99999999999999999999999\r\n", rtsp::Fault::Length),
+        (
+            "Content-Length: 99999999999999999999999\r\n",
+            rtsp::Fault::Length,
+        ),
         ("Content-Length: -1\r\n", rtsp::Fault::Length),
         ("Content-Length: 16384\r\n", rtsp::Fault::TooLong),
         ("Content-Length: \r\n", rtsp::Fault::Length),
         ("", rtsp::Fault::Length),
-        ("Content-Length: 0\r\nContent-Length: 5\r\n", rtsp::Fault::Header),
+        (
+            "Content-Length: 0\r\nContent-Length: 5\r\n",
+            rtsp::Fault::Header,
+        ),
         ("CSeq: 2\r\nContent-Length: 0\r\n", rtsp::Fault::Header),
         ("no header\r\nContent-Length: 0\r\n", rtsp::Fault::Header),
     ] {
-        assert_eq!(servers_said(with(head).as_bytes(), &[7]).1, Some(fault), "{head:?}");
+        assert_eq!(
+            servers_said(with(head).as_bytes(), &[7]).1,
+            Some(fault),
+            "{head:?}"
+        );
     }
     // A body longer than its length: what follows does not begin like a message.
     let mut bytes = answer(1, "abc");
@@ -224,7 +270,11 @@
         Some(rtsp::Fault::TooLong),
         "a line without end"
     );
-    assert_eq!(servers_said(b"\x00\x01\x02", &[1]).1, Some(rtsp::Fault::StartLine), "noise is seen at once");
+    assert_eq!(
+        servers_said(b"\x00\x01\x02", &[1]).1,
+        Some(rtsp::Fault::StartLine),
+        "noise is seen at once"
+    );
 }
 
 proptest! {
--- a/crates/node-protocol/tests/config.rs
+++ b/crates/node-protocol/tests/config.rs
@@ -28,11 +28,25 @@
 #[test]
 fn the_known_events_make_the_list_of_the_start() {
     let config = Config::parse(whole().to_string().as_bytes()).expect("sound");
-    assert_eq!((config.name.as_str(), config.seed), ("n3", 0x8c1f_30d2_7a5b_e964));
+    assert_eq!(
+        (config.name.as_str(), config.seed),
+        ("n3", 0x8c1f_30d2_7a5b_e964)
+    );
     assert_eq!((config.limits.memory_mb, config.limits.sockets), (32, 256));
-    let held: Vec<_> = config.known.entries.iter().map(|e| (e.name.as_str(), e.state)).collect();
+    let held: Vec<_> = config
+        .known
+        .entries
+        .iter()
+        .map(|e| (e.name.as_str(), e.state))
+        .collect();
     assert_eq!(config.known.serial, 3);
-    assert_eq!(held, [("s-00000001", State::Ready), ("s-00000002", State::Draining)]);
+    assert_eq!(
+        held,
+        [
+            ("s-00000001", State::Ready),
+            ("s-00000002", State::Draining)
+        ]
+    );
     assert_eq!(
         (config.fleet.classes, config.fleet.deadlines),
         (vec!["paid".to_owned()], vec![4_000_000_000])
@@ -60,7 +74,9 @@
     }
     let mut value = whole();
     value["seed"] = json!("not hex");
-    assert!(Config::parse(value.to_string().as_bytes()).expect_err("bad").contains("seed"));
+    assert!(Config::parse(value.to_string().as_bytes())
+        .expect_err("bad")
+        .contains("seed"));
     for broken in ["", "{", "[]", "null", "\u{0}"] {
         assert!(Config::parse(broken.as_bytes()).is_err(), "{broken:?}");
     }
--- a/crates/node-protocol/tests/directory.rs
+++ b/crates/node-protocol/tests/directory.rs
@@ -18,11 +18,27 @@
         let host = name(&format!("{server}.{zone}.hosts."));
         let srv = SRV::new(*priority, *weight, *port, host.clone());
         message.add_answer(Record::from_rdata(service.clone(), 0, RData::SRV(srv)));
-        message.add_additional(Record::from_rdata(host.clone(), 0, RData::A(A::new(10, 1, 0, 9))));
-        let text = vec!["kind=std".to_owned(), "cell=2".to_owned(), format!("started={started}")];
+        message.add_additional(Record::from_rdata(
+            host.clone(),
+            0,
+            RData::A(A::new(10, 1, 0, 9)),
+        ));
+        let text = vec![
+            "kind=std".to_owned(),
+            "cell=2".to_owned(),
+            format!("started={started}"),
+        ];
         message.add_additional(Record::from_rdata(host, 0, RData::TXT(TXT::new(text))));
     }
-    let soa = SOA::new(name("ns.fleet.local."), name("ops.fleet.local."), serial, 1, 1, 1, 1);
+    let soa = SOA::new(
+        name("ns.fleet.local."),
+        name("ops.fleet.local."),
+        serial,
+        1,
+        1,
+        1,
+        1,
+    );
     message.add_authority(Record::from_rdata(name("fleet.local."), 0, RData::SOA(soa)));
     message
 }
@@ -31,26 +47,46 @@
     message.to_vec().expect("written")
 }
 
-const TWO: [(&str, &str, u16, u16, u16, u64); 2] =
-    [("s-00c41f7a", "east", 0, 40, 3868, 0), ("s-0badcafe", "west", 1, 15, 3869, 1_700_000_000_123)];
+const TWO: [(&str, &str, u16, u16, u16, u64); 2] = [
+    ("s-00c41f7a", "east", 0, 40, 3868, 0),
+    ("s-0badcafe", "west", 1, 15, 3869, 1_700_000_000_123),
+];
 
 #[test]
 fn the_query_asks_for_the_service() {
     let read = Message::from_vec(&query(77).expect("written")).expect("read");
     assert_eq!(read.metadata.id, 77);
-    let asked: Vec<_> = read.queries.iter().map(|q| (q.name().to_string(), q.query_type())).collect();
-    assert_eq!(asked, [("_work._tcp.fleet.local.".to_owned(), RecordType::SRV)]);
+    let asked: Vec<_> = read
+        .queries
+        .iter()
+        .map(|q| (q.name().to_string(), q.query_type()))
+        .collect();
+    assert_eq!(
+        asked,
+        [("_work._tcp.fleet.local.".to_owned(), RecordType::SRV)]
+    );
 }
 
 #[test]
 fn a_whole_list_is_read_with_its_serial() {
     let list = answer(5, &bytes(&listed(5, 41, &TWO))).expect("a list");
     assert_eq!(list.serial, 41);
-    let [a, b] = list.entries.as_slice() else { panic!("{list:?}") };
-    assert_eq!((a.name.as_str(), a.zone.as_str(), a.kind.as_str()), ("s-00c41f7a", "east", "std"));
-    assert_eq!((a.address.to_string().as_str(), a.cell, a.state), ("10.1.0.9:3868", 2, State::Ready));
+    let [a, b] = list.entries.as_slice() else {
+        panic!("{list:?}")
+    };
+    assert_eq!(
+        (a.name.as_str(), a.zone.as_str(), a.kind.as_str()),
+        ("s-00c41f7a", "east", "std")
+    );
+    assert_eq!(
+        (a.address.to_string().as_str(), a.cell, a.state),
+        ("10.1.0.9:3868", 2, State::Ready)
+    );
     assert_eq!((a.weight, a.started_ms), (4.0, 0));
-    assert_eq!((b.weight, b.started_ms, b.state), (1.5, 1_700_000_000_123, State::Draining));
+    assert_eq!(
+        (b.weight, b.started_ms, b.state),
+        (1.5, 1_700_000_000_123, State::Draining)
+    );
 }
 
 #[test]
@@ -62,13 +98,29 @@
         change(&mut message);
         answer(5, &bytes(&message))
     };
-    assert_eq!(with(&|m| m.metadata.truncation = true), Err(Fault::Truncated));
-    assert_eq!(with(&|m| m.metadata.response_code = ResponseCode::ServFail), Err(Fault::Failed(2)));
-    assert_eq!(with(&|m| m.metadata.message_type = MessageType::Query), Err(Fault::NoAnswer));
+    assert_eq!(
+        with(&|m| m.metadata.truncation = true),
+        Err(Fault::Truncated)
+    );
+    assert_eq!(
+        with(&|m| m.metadata.response_code = ResponseCode::ServFail),
+        Err(Fault::Failed(2))
+    );
+    assert_eq!(
+        with(&|m| m.metadata.message_type = MessageType::Query),
+        Err(Fault::NoAnswer)
+    );
     assert_eq!(with(&|m| m.authorities.clear()), Err(Fault::NoSerial));
-    let without = |kind| with(&move |m: &mut Message| m.additionals.retain(|r| r.record_type() != kind));
-    assert_eq!(without(RecordType::A), Err(Fault::Server("s-00c41f7a".into())));
-    assert_eq!(without(RecordType::TXT), Err(Fault::Server("s-00c41f7a".into())));
+    let without =
+        |kind| with(&move |m: &mut Message| m.additionals.retain(|r| r.record_type() != kind));
+    assert_eq!(
+        without(RecordType::A),
+        Err(Fault::Server("s-00c41f7a".into()))
+    );
+    assert_eq!(
+        without(RecordType::TXT),
+        Err(Fault::Server("s-00c41f7a".into()))
+    );
 }
 
 #[test]
--- a/crates/node/examples/platform.rs
+++ b/crates/node/examples/platform.rs
@@ -7,7 +7,11 @@
 
 fn main() -> std::io::Result<()> {
     let servers = [Server::start(1)];
-    let directory = Directory::start(Told { serial: 1, lines: lines(&servers), spoilt: None });
+    let directory = Directory::start(Told {
+        serial: 1,
+        lines: lines(&servers),
+        spoilt: None,
+    });
     let mut config = configuration(&servers, &directory);
     config["listen"] = "127.0.0.1:3868".into();
     let [server] = servers;
@@ -19,7 +23,10 @@
             std::thread::sleep(std::time::Duration::from_millis(5));
             continue;
         };
-        let (tag, made) = (session_of(&asked), format!("made for {}", asked.text().unwrap_or_default()));
+        let (tag, made) = (
+            session_of(&asked),
+            format!("made for {}", asked.text().unwrap_or_default()),
+        );
         eprintln!("set up {tag}");
         server.send(conn, &stands(tag, &made));
     }
--- a/crates/node/src/budget.rs
+++ b/crates/node/src/budget.rs
@@ -23,7 +23,9 @@
 impl Budget {
     pub fn new(limits: &Limits) -> Budget {
         let free = limits.sockets.saturating_sub(OWN).max(4);
-        let memory = usize::try_from(limits.memory_mb).unwrap_or(usize::MAX).max(1);
+        let memory = usize::try_from(limits.memory_mb)
+            .unwrap_or(usize::MAX)
+            .max(1);
         Budget {
             viewers: free / 2,
             links: free - free / 2,
@@ -41,9 +43,16 @@
     #[test]
     fn viewers_and_servers_together_stay_within_the_descriptors() {
         for sockets in [0, 10, 64, 256, 1024, 1 << 20] {
-            let budget = Budget::new(&Limits { cores: 0.3, memory_mb: 32, sockets });
+            let budget = Budget::new(&Limits {
+                cores: 0.3,
+                memory_mb: 32,
+                sockets,
+            });
             assert!(budget.viewers > 0 && budget.links > 0);
-            assert!(sockets < 64 || budget.viewers + budget.links + OWN <= sockets, "{sockets}: {budget:?}");
+            assert!(
+                sockets < 64 || budget.viewers + budget.links + OWN <= sockets,
+                "{sockets}: {budget:?}"
+            );
             assert!(
                 sockets < 256 || budget.viewers > sockets / 3,
                 "what viewers may hold is taken: {budget:?}"
--- a/crates/node/src/crowd.rs
+++ b/crates/node/src/crowd.rs
@@ -72,7 +72,11 @@
     /// When a message that begins now must be whole. Danger: closed amid it, the connection would take with it the set-ups that
     /// wait for their answers there; these come first.
     pub fn whole_by(&self, now: u64, within: u64) -> u64 {
-        let from = if self.is_asked() { now.max(self.owed_until.load(Ordering::Relaxed)) } else { now };
+        let from = if self.is_asked() {
+            now.max(self.owed_until.load(Ordering::Relaxed))
+        } else {
+            now
+        };
         from.saturating_add(within)
     }
 }
@@ -89,7 +93,13 @@
 impl Viewers {
     pub fn new(most: usize) -> Viewers {
         let (taken, last) = (AtomicUsize::new(0), AtomicU64::new(0));
-        Viewers { most, full: AtomicBool::new(false), taken, last, conns: Mutex::default() }
+        Viewers {
+            most,
+            full: AtomicBool::new(false),
+            taken,
+            last,
+            conns: Mutex::default(),
+        }
     }
 
     fn conns(&self) -> MutexGuard<'_, BTreeMap<ConnId, Arc<Conn>>> {
@@ -128,7 +138,8 @@
 
     /// Whether anything is owed on any of them, or may be by those that wait to be accepted where there is no room.
     pub fn owe(&self, now: u64, unread: bool) -> bool {
-        unread && self.full.load(Ordering::Acquire) || self.conns().values().any(|c| c.owes(now, unread))
+        unread && self.full.load(Ordering::Acquire)
+            || self.conns().values().any(|c| c.owes(now, unread))
     }
 
     /// A place is free again.
@@ -151,7 +162,12 @@
         }
         let now = clock::now();
         let idle = |c: &&Arc<Conn>| !c.owes(now, true) && !c.outbox.socket().is_shut();
-        let use_of = |c: &&Arc<Conn>| (c.spoke.load(Ordering::Relaxed), c.used.load(Ordering::Relaxed));
+        let use_of = |c: &&Arc<Conn>| {
+            (
+                c.spoke.load(Ordering::Relaxed),
+                c.used.load(Ordering::Relaxed),
+            )
+        };
         if let Some(conn) = conns.values().filter(idle).min_by_key(use_of) {
             conn.outbox.socket().shut();
         }
--- a/crates/node/src/crowd/tests.rs
+++ b/crates/node/src/crowd/tests.rs
@@ -7,9 +7,18 @@
 fn conn(viewers: &Viewers, listener: &TcpListener, id: u64, spoke: bool) -> Arc<Conn> {
     crankpaddle_net::start(Some(1));
     let (address, (give, given)) = (listener.local_addr().unwrap(), std::sync::mpsc::channel());
-    spawn(Stack::Usual, move || drop(give.send(Socket::connect(&address, Duration::from_secs(20)))));
-    let socket = given.recv_timeout(Duration::from_secs(30)).expect("it connects").expect("somebody listens");
-    let conn = Arc::new(Conn::new(ConnId(id), Outbox::new(Arc::new(socket), 1024), id));
+    spawn(Stack::Usual, move || {
+        drop(give.send(Socket::connect(&address, Duration::from_secs(20))))
+    });
+    let socket = given
+        .recv_timeout(Duration::from_secs(30))
+        .expect("it connects")
+        .expect("somebody listens");
+    let conn = Arc::new(Conn::new(
+        ConnId(id),
+        Outbox::new(Arc::new(socket), 1024),
+        id,
+    ));
     conn.spoke.store(spoke, Ordering::Relaxed);
     viewers.enter(&conn);
     conn
@@ -19,8 +28,13 @@
 #[test]
 fn one_connection_is_closed_at_a_time_and_none_of_use_before_those_of_none() {
     let (viewers, listener) = (Viewers::new(1), TcpListener::bind("127.0.0.1:0").unwrap());
-    let all = [(1, true), (2, false), (3, false)].map(|(id, spoke)| conn(&viewers, &listener, id, spoke));
-    let shut = || all.iter().map(|c| c.outbox.socket().is_shut()).collect::<Vec<_>>();
+    let all =
+        [(1, true), (2, false), (3, false)].map(|(id, spoke)| conn(&viewers, &listener, id, spoke));
+    let shut = || {
+        all.iter()
+            .map(|c| c.outbox.socket().is_shut())
+            .collect::<Vec<_>>()
+    };
     viewers.shed();
     assert_eq!(shut(), [false, true, false]);
     for _ in 0..100 {
@@ -37,9 +51,14 @@
     crankpaddle_net::start(Some(1));
     rustix::net::sockopt::set_socket_recv_buffer_size(listener, 1024).unwrap();
     let (address, (give, given)) = (listener.local_addr().unwrap(), std::sync::mpsc::channel());
-    spawn(Stack::Usual, move || drop(give.send(Socket::connect(&address, Duration::from_secs(20)))));
+    spawn(Stack::Usual, move || {
+        drop(give.send(Socket::connect(&address, Duration::from_secs(20))))
+    });
     let (peer, _) = listener.accept().unwrap();
-    let socket = given.recv_timeout(Duration::from_secs(30)).unwrap().unwrap();
+    let socket = given
+        .recv_timeout(Duration::from_secs(30))
+        .unwrap()
+        .unwrap();
     (Arc::new(socket), peer)
 }
 
@@ -51,19 +70,31 @@
     let conn = Conn::new(ConnId(1), Outbox::new(socket.clone(), 64 << 20), 0);
     assert!(!conn.owes(5, true));
     conn.unheard.store(1, Ordering::Relaxed);
-    assert!(conn.owes(5, true) && !conn.owes(5, false), "read and not heard");
+    assert!(
+        conn.owes(5, true) && !conn.owes(5, false),
+        "read and not heard"
+    );
     conn.unheard.store(0, Ordering::Relaxed);
     conn.open.store(1, Ordering::Relaxed);
     assert!(conn.owes(5, false), "heard and not answered");
     conn.open.store(0, Ordering::Relaxed);
     conn.amid.store(true, Ordering::Relaxed);
-    assert!(conn.owes(5, true) && !conn.owes(5, false), "begun and not whole");
+    assert!(
+        conn.owes(5, true) && !conn.owes(5, false),
+        "begun and not whole"
+    );
     conn.amid.store(false, Ordering::Relaxed);
     conn.owe_until(10);
     while conn.outbox.is_empty() {
-        assert!(conn.outbox.push(&[b'x'; 4096]), "the kernel takes no end of bytes");
+        assert!(
+            conn.outbox.push(&[b'x'; 4096]),
+            "the kernel takes no end of bytes"
+        );
     }
-    assert!(conn.owes(5, false), "an answer that a slow reader has not taken");
+    assert!(
+        conn.owes(5, false),
+        "an answer that a slow reader has not taken"
+    );
     assert!(!conn.owes(10, false), "its viewer waits no more");
     let mut piece = [0u8; 65_536];
     while !conn.outbox.flush() {
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -40,8 +40,17 @@
 impl Health {
     /// A server that was heard `now`; `note_every`: time between its notes, 0 where there are none.
     pub fn new(now: u64, note_every: u64) -> Health {
-        let notes = if note_every == 0 { USUAL_NOTES } else { note_every };
-        Health { bound: notes.saturating_add(GRACE), heard: now, misses: 0, pause: 0 }
+        let notes = if note_every == 0 {
+            USUAL_NOTES
+        } else {
+            note_every
+        };
+        Health {
+            bound: notes.saturating_add(GRACE),
+            heard: now,
+            misses: 0,
+            pause: 0,
+        }
     }
 
     /// Something came from it.
@@ -95,9 +104,15 @@
     #[test]
     fn a_silent_server_is_asked_and_given_up_after_two_silent_connects() {
         let mut h = Health::new(10 * SECOND, 3 * SECOND);
-        assert!(!h.wants_dial(13 * SECOND, true), "between two notes silence is usual");
+        assert!(
+            !h.wants_dial(13 * SECOND, true),
+            "between two notes silence is usual"
+        );
         assert!(h.wants_dial(14 * SECOND, true));
-        assert!(!h.dialed(14 * SECOND, Dialed::Silent), "one lost connect says little");
+        assert!(
+            !h.dialed(14 * SECOND, Dialed::Silent),
+            "one lost connect says little"
+        );
         assert!(h.wants_dial(14 * SECOND, true));
         assert!(h.dialed(14 * SECOND + 1, Dialed::Silent));
     }
@@ -109,9 +124,15 @@
         assert!(!h.dialed(5 * SECOND, Dialed::Silent));
         assert!(!h.dialed(5 * SECOND, Dialed::Up));
         assert!(!h.wants_dial(6 * SECOND, true));
-        assert!(!h.dialed(6 * SECOND, Dialed::Silent), "misses count in a row only");
+        assert!(
+            !h.dialed(6 * SECOND, Dialed::Silent),
+            "misses count in a row only"
+        );
         assert!(h.dialed(7 * SECOND, Dialed::Refused));
-        assert!(!h.wants_dial(7 * SECOND, false), "a refused connect is not repeated at once");
+        assert!(
+            !h.wants_dial(7 * SECOND, false),
+            "a refused connect is not repeated at once"
+        );
         assert!(h.wants_dial(8 * SECOND, false));
     }
 }
--- a/crates/node/src/hub/callers.rs
+++ b/crates/node/src/hub/callers.rs
@@ -13,7 +13,9 @@
 
     pub(super) fn start(&mut self, conn: ConnId, start: &viewers::SetUp, read: u64) {
         let tag = start.tag;
-        let ask = start.ask().and_then(|ask| self.open(tag, &ask).map(|open| (ask, open)));
+        let ask = start
+            .ask()
+            .and_then(|ask| self.open(tag, &ask).map(|open| (ask, open)));
         if self.tags.contains_key(&tag) {
             // One that is adopted may name what is held. Else: danger, an answer by this id would be taken for that of
             // the set-up that has it, so no word is said.
@@ -33,14 +35,29 @@
             }
         };
         let blob = start.blob.clone().unwrap_or_default();
-        let mut session = Session { tag, conn, class: open.class, title: ask.key, blob, stands: false };
+        let mut session = Session {
+            tag,
+            conn,
+            class: open.class,
+            title: ask.key,
+            blob,
+            stands: false,
+        };
         if let Some(at) = &ask.at {
-            let Some(server) = self.listed(at) else { return };
+            let Some(server) = self.listed(at) else {
+                return;
+            };
             (session.conn, session.blob, session.stands) = (ConnId::default(), String::new(), true);
             let player = self.enter(session);
-            return self.tell_core(Input::Adopt { player, open, server });
+            return self.tell_core(Input::Adopt {
+                player,
+                open,
+                server,
+            });
         }
-        let Some(of) = self.conns.get(&conn) else { return };
+        let Some(of) = self.conns.get(&conn) else {
+            return;
+        };
         if of.open.load(Ordering::Relaxed) >= self.shared.budget.open_per_connection {
             count(&self.shared.shed.crowded);
             let advice = self.shared.config.fleet.settings.stay_away_cap;
@@ -52,7 +69,11 @@
         tracing::trace!(%tag, conn = conn.0, ask = ?start.opts, "asked");
         let player = self.enter(session);
         let call = Call { player, number: 0 };
-        self.tell_core(Input::Open { call, open, received: Time(read) });
+        self.tell_core(Input::Open {
+            call,
+            open,
+            received: Time(read),
+        });
     }
 
     /// A session is known by its tag from now on; the player that it is to the core.
@@ -67,12 +88,20 @@
     /// A set-up in the core's terms, or the field that is out of range.
     pub(super) fn open(&self, tag: Tag, ask: &Ask) -> Result<Open, &'static str> {
         let fleet = &self.shared.config.fleet;
-        let class = fleet.classes.iter().position(|c| *c == ask.class).ok_or("class")?;
+        let class = fleet
+            .classes
+            .iter()
+            .position(|c| *c == ask.class)
+            .ok_or("class")?;
         let tenant = match &ask.tenant {
             // Danger: taken for the first of them, it would be counted to who did not ask.
             None if fleet.tenants.is_empty() => 0,
             None => return Err("tenant"),
-            Some(name) => fleet.tenants.iter().position(|t| t == name).ok_or("tenant")?,
+            Some(name) => fleet
+                .tenants
+                .iter()
+                .position(|t| t == name)
+                .ok_or("tenant")?,
         };
         let settings = &fleet.settings;
         let patience = ask.left.saturating_mul(MILLISECOND);
@@ -107,7 +136,9 @@
     pub(super) fn finish(&mut self, conn: ConnId, tag: Tag, why: u16) {
         tracing::trace!(%tag, conn = conn.0, why, "a viewer ends");
         if let Some(player) = self.tags.get(&tag).copied() {
-            let Some(session) = self.sessions.get(&player) else { return };
+            let Some(session) = self.sessions.get(&player) else {
+                return;
+            };
             // Only who waits for the answer may give the set-up up; a session that stands belongs to no connection.
             if session.stands || session.conn == conn {
                 self.release_cause = why;
@@ -126,12 +157,18 @@
 
     pub(super) fn gone(&mut self, conn: ConnId) {
         tracing::trace!(conn = conn.0, "a viewer's connection is gone");
-        let Some(gone) = self.conns.remove(&conn) else { return };
+        let Some(gone) = self.conns.remove(&conn) else {
+            return;
+        };
         self.served.retain(|c| *c != conn);
         if gone.open.load(Ordering::Relaxed) == 0 {
             return; // Most that go: all sessions need not be looked at for each.
         }
-        let waits = self.sessions.iter().filter(|(_, s)| s.conn == conn && !s.stands).map(|(p, _)| *p);
+        let waits = self
+            .sessions
+            .iter()
+            .filter(|(_, s)| s.conn == conn && !s.stands)
+            .map(|(p, _)| *p);
         let waits: Vec<PlayerId> = waits.collect();
         // No answer can reach these any more.
         waits.into_iter().for_each(|player| self.end(player));
@@ -155,7 +192,9 @@
 
     /// False if the connection is gone.
     pub(super) fn say(&mut self, conn: ConnId, bytes: &[u8]) -> bool {
-        self.conns.get(&conn).is_some_and(|conn| !conn.outbox.socket().is_shut() && conn.outbox.push(bytes))
+        self.conns
+            .get(&conn)
+            .is_some_and(|conn| !conn.outbox.socket().is_shut() && conn.outbox.push(bytes))
     }
 
     pub(super) fn shut(&mut self, conn: ConnId) {
@@ -168,7 +207,9 @@
         tracing::trace!(tag = ?self.sessions.get(&player).map(|s| s.tag), ?answer, "answered");
         match answer {
             Answer::Plays { .. } => {
-                let Some(session) = self.sessions.get_mut(&player) else { return };
+                let Some(session) = self.sessions.get_mut(&player) else {
+                    return;
+                };
                 let (conn, bytes) = (session.conn, viewers::started(session.tag, &session.blob));
                 session.stands = true;
                 session.blob = String::new();
@@ -178,18 +219,29 @@
                 self.say(conn, &bytes);
             }
             Answer::Refused(why, advice) => {
-                let Some(session) = self.forget(player) else { return };
+                let Some(session) = self.forget(player) else {
+                    return;
+                };
                 let why = match why {
                     Refusal::NoRoom | Refusal::HeldAtHome => cause::NO_ROOM,
-                    Refusal::Overload | Refusal::TooManyOpen | Refusal::Stopping | Refusal::Returning => {
-                        cause::CONGESTION
-                    }
+                    Refusal::Overload
+                    | Refusal::TooManyOpen
+                    | Refusal::Stopping
+                    | Refusal::Returning => cause::CONGESTION,
                 };
-                self.say(session.conn, &viewers::finish(session.tag, why, wait(*advice)));
+                self.say(
+                    session.conn,
+                    &viewers::finish(session.tag, why, wait(*advice)),
+                );
             }
             Answer::Failed(_) => {
-                let Some(session) = self.forget(player) else { return };
-                self.say(session.conn, &viewers::finish(session.tag, cause::CUT, None));
+                let Some(session) = self.forget(player) else {
+                    return;
+                };
+                self.say(
+                    session.conn,
+                    &viewers::finish(session.tag, cause::CUT, None),
+                );
             }
             // Nobody resumes or closes a session by its key here.
             Answer::Superseded | Answer::Closed | Answer::Unknown => {}
@@ -199,12 +251,18 @@
     pub(super) fn notify(&mut self, player: PlayerId, notice: Notice) {
         let bytes = |tag| match notice {
             Notice::Rung(_) => None, // Viewers are not told of rungs.
-            Notice::Over(OverReason::Finished, _) => Some(viewers::finish(tag, cause::NORMAL, None)),
+            Notice::Over(OverReason::Finished, _) => {
+                Some(viewers::finish(tag, cause::NORMAL, None))
+            }
             Notice::Over(_, _) => Some(viewers::finish(tag, cause::CUT, None)),
             Notice::Move => Some(viewers::moved(tag)),
         };
-        let Some(bytes) = self.sessions.get(&player).and_then(|s| bytes(s.tag)) else { return };
-        let Some(session) = self.forget(player) else { return };
+        let Some(bytes) = self.sessions.get(&player).and_then(|s| bytes(s.tag)) else {
+            return;
+        };
+        let Some(session) = self.forget(player) else {
+            return;
+        };
         tracing::trace!(tag = %session.tag, conn = session.conn.0, ?notice, "a session is over");
         self.tell_viewers(session.conn, bytes);
     }
@@ -220,7 +278,8 @@
         }
         let others: Vec<ConnId> = self.served.iter().rev().copied().collect();
         if !others.into_iter().any(|other| self.say(other, &bytes)) {
-            self.unsaid.push_back((clock::now().saturating_add(RELEASE_FOR), bytes));
+            self.unsaid
+                .push_back((clock::now().saturating_add(RELEASE_FOR), bytes));
         }
     }
 }
--- a/crates/node/src/hub/leave.rs
+++ b/crates/node/src/hub/leave.rs
@@ -28,20 +28,39 @@
 }
 
 impl Hub {
-    pub(super) fn set_up(&mut self, attempt: AttemptId, server: ServerId, order: &Order, until: Time) {
+    pub(super) fn set_up(
+        &mut self,
+        attempt: AttemptId,
+        server: ServerId,
+        order: &Order,
+        until: Time,
+    ) {
         let player = Tag::parse(&order.key).and_then(|tag| self.tags.get(&tag).copied());
-        let Some((player, session)) = player.and_then(|p| Some((p, self.sessions.get_mut(&p)?))) else {
+        let Some((player, session)) = player.and_then(|p| Some((p, self.sessions.get_mut(&p)?)))
+        else {
             return;
         };
         let Some(at) = self.servers.get_mut(&server) else {
-            return self.tell_core(Input::SetUp(attempt, SetUp::Ended(Outcome::Moot, Report::new())));
+            return self.tell_core(Input::SetUp(
+                attempt,
+                SetUp::Ended(Outcome::Moot, Report::new()),
+            ));
         };
         let tag = session.tag;
         at.held.insert(tag, attempt);
         at.abandoned.remove(&tag);
         let rung = order.rung;
-        let live =
-            Live { player, tag, server, link: None, rung, until, sent: None, answered: false, tries: 0 };
+        let live = Live {
+            player,
+            tag,
+            server,
+            link: None,
+            rung,
+            until,
+            sent: None,
+            answered: false,
+            tries: 0,
+        };
         self.live.insert(attempt, live);
         self.is_to_leave(attempt, None);
     }
@@ -49,7 +68,11 @@
     /// It leaves once all that was heard was decided on, on this link if it is good.
     pub(super) fn is_to_leave(&mut self, attempt: AttemptId, link: Option<LinkId>) {
         self.live.entry(attempt).and_modify(|l| l.link = None);
-        self.leaving.push_back(Leaving { attempt, link, since: clock::now() });
+        self.leaving.push_back(Leaving {
+            attempt,
+            link,
+            since: clock::now(),
+        });
     }
 
     /// Lets leave what is ready to.
@@ -60,7 +83,9 @@
     /// the network leaves all the same.
     pub(super) fn leave(&mut self) {
         for _ in 0..self.leaving.len() {
-            let Some(ready) = self.leaving.pop_front() else { return };
+            let Some(ready) = self.leaving.pop_front() else {
+                return;
+            };
             match self.next(&ready) {
                 None => {} // It was given up.
                 Some(Next::Leaves) => self.dispatch(ready.attempt, ready.link),
@@ -95,7 +120,9 @@
         if link.is_some_and(|link| self.write_set_up(attempt, link)) {
             return;
         }
-        let Some(live) = self.live.get_mut(&attempt) else { return };
+        let Some(live) = self.live.get_mut(&attempt) else {
+            return;
+        };
         let server = live.server;
         live.tries += 1;
         if live.tries > MOST_TRIES {
@@ -119,10 +146,20 @@
         // Danger: while all its links are still connecting none is up; a server that is only busy being connected to would
         // be taken for one that can't be. One that does not read what was written before takes nothing more: it would leave when
         // the server reads again, whatever has become of its viewer.
-        let links = self.servers.get(&server).map(|s| s.links.clone()).unwrap_or_default();
-        let takes = |id: &LinkId| self.links.get(id).is_some_and(|l| l.is_connecting() || l.is_usable());
+        let links = self
+            .servers
+            .get(&server)
+            .map(|s| s.links.clone())
+            .unwrap_or_default();
+        let takes = |id: &LinkId| {
+            self.links
+                .get(id)
+                .is_some_and(|l| l.is_connecting() || l.is_usable())
+        };
         let load = |id: &LinkId| {
-            self.links.get(id).map_or((false, usize::MAX), |l| (l.is_connecting(), l.open.len()))
+            self.links
+                .get(id)
+                .map_or((false, usize::MAX), |l| (l.is_connecting(), l.open.len()))
         };
         let Some(least) = links.into_iter().filter(takes).min_by_key(load) else {
             return self.set_up_ended(attempt, Outcome::ConnectFailed, Report::new());
@@ -152,14 +189,20 @@
 
     /// Writes an attempt's set-up; false if not a byte of it went out.
     fn write_set_up(&mut self, attempt: AttemptId, id: LinkId) -> bool {
-        let (Some(live), Some(link)) = (self.live.get_mut(&attempt), self.links.get_mut(&id)) else {
+        let (Some(live), Some(link)) = (self.live.get_mut(&attempt), self.links.get_mut(&id))
+        else {
             return false;
         };
         let (Some(outbox), Some(session)) = (&link.outbox, self.sessions.get(&live.player)) else {
             return false;
         };
         let now = clock::now();
-        let class = self.shared.config.fleet.classes.get(usize::from(session.class));
+        let class = self
+            .shared
+            .config
+            .fleet
+            .classes
+            .get(usize::from(session.class));
         let bytes = rtsp::set_up(&rtsp::SetUp {
             tag: live.tag,
             title: &session.title,
--- a/crates/node/src/hub/list.rs
+++ b/crates/node/src/hub/list.rs
@@ -23,7 +23,10 @@
         }
         let old = std::mem::take(&mut self.listings);
         for (id, entry) in old.iter().filter(|(id, _)| !listed.contains_key(id)) {
-            listings.extend(self.listing(*id, entry).map(|l| Listing { phase: Phase::Gone, ..l }));
+            listings.extend(self.listing(*id, entry).map(|l| Listing {
+                phase: Phase::Gone,
+                ..l
+            }));
             self.unlisted(*id);
         }
         for (id, entry) in &listed {
@@ -50,7 +53,10 @@
             (server.address, server.listed) = (entry.address, true);
         }
         self.listings = listed;
-        let drains = listings.iter().filter(|l| l.phase == Phase::Draining).map(|l| l.server);
+        let drains = listings
+            .iter()
+            .filter(|l| l.phase == Phase::Draining)
+            .map(|l| l.server);
         let drains: Vec<ServerId> = drains.collect();
         if !listings.is_empty() {
             self.tell_core(Input::Roster(kind, listings));
@@ -61,7 +67,10 @@
     /// The server of this name, if the list has it.
     pub(super) fn listed(&self, name: &str) -> Option<ServerId> {
         let id = server_id(name);
-        self.listings.get(&id).filter(|entry| entry.name == name).map(|_| id)
+        self.listings
+            .get(&id)
+            .filter(|entry| entry.name == name)
+            .map(|_| id)
     }
 
     /// Whether a list may be ours; `strange`: servers in it that do not fit our settings, with the field, `alone`: it has no others.
@@ -73,7 +82,11 @@
         let refused = alone && !strange.is_empty() && !self.listings.is_empty();
         let news = self.strange.as_slice() != strange;
         for (server, field) in strange.iter().filter(|_| news) {
-            tracing::error!(server, field, "a listed server does not fit the settings and is left out");
+            tracing::error!(
+                server,
+                field,
+                "a listed server does not fit the settings and is left out"
+            );
         }
         if news && refused {
             tracing::error!(
@@ -96,7 +109,9 @@
             server,
             zone: index(&fleet.zones, &entry.zone).ok_or("zone")? as u8,
             kind: index(&fleet.kinds, &entry.kind).ok_or("kind")? as u16,
-            cell: Some(entry.cell).filter(|c| u32::from(*c) < fleet.settings.cells).ok_or("cell")?,
+            cell: Some(entry.cell)
+                .filter(|c| u32::from(*c) < fleet.settings.cells)
+                .ok_or("cell")?,
             phase: match entry.state {
                 State::Ready => Phase::Ready,
                 State::Draining => Phase::Draining,
@@ -109,10 +124,16 @@
     /// A server is not in the list any more. Its links go on while something stands there, but a new connection to its
     /// address may meet another server, so none is made.
     fn unlisted(&mut self, id: ServerId) {
-        let Some(server) = self.servers.get_mut(&id) else { return };
+        let Some(server) = self.servers.get_mut(&id) else {
+            return;
+        };
         server.listed = false;
         self.stop_connecting(id);
-        if self.servers.get(&id).is_some_and(|server| server.links.is_empty()) {
+        if self
+            .servers
+            .get(&id)
+            .is_some_and(|server| server.links.is_empty())
+        {
             self.lose(id);
         }
     }
@@ -123,6 +144,8 @@
     let digits = name.rsplit('-').next().filter(|d| d.len() == 8);
     let number = digits.and_then(|d| u32::from_str_radix(d, 16).ok());
     ServerId(number.unwrap_or_else(|| {
-        name.bytes().fold(0x811c_9dc5, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193))
+        name.bytes().fold(0x811c_9dc5, |h, b| {
+            (h ^ u32::from(b)).wrapping_mul(0x0100_0193)
+        })
     }))
 }
--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -10,8 +10,8 @@
 use crate::links;
 use crate::shared::{count, LinkId, Msg, Shared};
 use crankpaddle_front::{
-    Answer, AttemptId, Call, Core, Effect, Input, Listing, Note, Notice, Open, Order, Outcome, OverReason,
-    Phase, PlayerId, Refusal, Report, RosterKind, ServerId, SetUp, Tap, Terms, Time,
+    Answer, AttemptId, Call, Core, Effect, Input, Listing, Note, Notice, Open, Order, Outcome,
+    OverReason, Phase, PlayerId, Refusal, Report, RosterKind, ServerId, SetUp, Tap, Terms, Time,
 };
 use crankpaddle_net::{catch_up, clock, recv_until, sleep, take, Outbox, Peer};
 use crankpaddle_node_protocol::directory::{Entry, List, State};
@@ -126,7 +126,10 @@
 fn terms(shared: &Shared) -> Terms {
     let deadlines = &shared.config.fleet.deadlines;
     Terms {
-        give_up: deadlines.iter().map(|deadline| deadline.saturating_add(LEFT_SLACK)).collect(),
+        give_up: deadlines
+            .iter()
+            .map(|deadline| deadline.saturating_add(LEFT_SLACK))
+            .collect(),
         answer_margin: MARGIN,
         resume: 0,
         back: 0, // Nothing is kept here.
@@ -140,8 +143,12 @@
 impl Hub {
     pub fn new(shared: Arc<Shared>, tap: Option<Tap>) -> Hub {
         let config = &shared.config;
-        let mut core =
-            Core::new(config.fleet.settings.clone(), terms(&shared), config.seed, Time(clock::now()));
+        let mut core = Core::new(
+            config.fleet.settings.clone(),
+            terms(&shared),
+            config.seed,
+            Time(clock::now()),
+        );
         tap.into_iter().for_each(|tap| core.set_tap(tap));
         let known = config.known.clone();
         let mut hub = Hub {
@@ -177,8 +184,17 @@
         let (mut tell, mut beliefs) = (clock::now() + TELL_COUNTS, clock::now());
         while !self.has_ended() {
             let now = clock::now();
-            let again = if self.leaving.is_empty() { u64::MAX } else { now.saturating_add(LOOK_AGAIN) };
-            let due = self.core.next_expiry().map_or(u64::MAX, |t| t.0).min(house).min(again);
+            let again = if self.leaving.is_empty() {
+                u64::MAX
+            } else {
+                now.saturating_add(LOOK_AGAIN)
+            };
+            let due = self
+                .core
+                .next_expiry()
+                .map_or(u64::MAX, |t| t.0)
+                .min(house)
+                .min(again);
             if due > now {
                 match recv_until(inbox, due) {
                     Ok(msg) => self.enqueue(msg),
@@ -230,7 +246,10 @@
             && self.core.waiting() == 0
             && self.core.playing() == 0
             && self.unsaid.is_empty()
-            && !self.shared.viewers.owe(now, !past(STILL_COMING + STILL_UNREAD))
+            && !self
+                .shared
+                .viewers
+                .owe(now, !past(STILL_COMING + STILL_UNREAD))
     }
 
     /// Hears what was read, and what lies in the queue; how many messages of the queue.
@@ -246,7 +265,8 @@
     fn enqueue(&mut self, msg: Msg) {
         match msg {
             Msg::Server(link, messages) => {
-                self.read.extend(messages.into_iter().map(|m| Msg::Server(link, vec![m])));
+                self.read
+                    .extend(messages.into_iter().map(|m| Msg::Server(link, vec![m])));
             }
             other => self.read.push_back(other),
         }
@@ -264,7 +284,9 @@
             }
             Msg::Gone(conn) => self.gone(conn),
             Msg::Dialed(link, how, outbox) => self.dialed(link, how, outbox),
-            Msg::Server(link, messages) => messages.iter().for_each(|message| self.server(link, message)),
+            Msg::Server(link, messages) => messages
+                .iter()
+                .for_each(|message| self.server(link, message)),
             Msg::LinkDown(link, spoilt) => self.link_ended(link, spoilt),
             Msg::List(list) => self.list(list, RosterKind::Delta),
             Msg::Drain => {
@@ -323,8 +345,12 @@
     }
 
     fn tell_counts(&self) {
-        self.shared.waiting.store(self.core.waiting(), Ordering::Relaxed);
-        self.shared.playing.store(self.core.playing(), Ordering::Relaxed);
+        self.shared
+            .waiting
+            .store(self.core.waiting(), Ordering::Relaxed);
+        self.shared
+            .playing
+            .store(self.core.playing(), Ordering::Relaxed);
     }
 
     fn carry_out(&mut self) {
@@ -333,10 +359,18 @@
             match effect {
                 Effect::Answer(call, answer) => self.answer(call.player, &answer),
                 Effect::Notify(player, _, notice) => self.notify(player, notice),
-                Effect::SetUp { attempt, server, order, until, .. } => {
-                    self.set_up(attempt, server, &order, until)
-                }
-                Effect::Holds { player, attempt, server } => self.holds(player, attempt, server),
+                Effect::SetUp {
+                    attempt,
+                    server,
+                    order,
+                    until,
+                    ..
+                } => self.set_up(attempt, server, &order, until),
+                Effect::Holds {
+                    player,
+                    attempt,
+                    server,
+                } => self.holds(player, attempt, server),
                 Effect::Found { .. } | Effect::Stage(..) => {} // Nothing is kept here.
                 Effect::Abandon(attempt, server) => self.abandon(attempt, server),
                 Effect::SetRung(attempt, server, rung) => {
@@ -353,7 +387,8 @@
                 }
                 Effect::Probe(server) => {
                     let tag = Tag::parse("0000000000000000");
-                    tag.into_iter().for_each(|tag| self.send_server(server, None, rtsp::probe(tag)));
+                    tag.into_iter()
+                        .for_each(|tag| self.send_server(server, None, rtsp::probe(tag)));
                 }
                 Effect::Subscribe | Effect::FetchRoster => {} // The directory is asked all the time.
                 Effect::Log(line) => tracing::info!(line, "module"),
@@ -370,7 +405,9 @@
                 server.unsent.retain(|(until, _)| now < *until);
             }
             self.watch(id, now);
-            let Some(server) = self.servers.get(&id) else { continue };
+            let Some(server) = self.servers.get(&id) else {
+                continue;
+            };
             if !server.listed && server.standing == 0 && server.held.is_empty() {
                 self.close_links(id);
                 self.servers.remove(&id);
@@ -378,22 +415,37 @@
                 self.lose(id); // Silent, and it may not be asked any more.
             }
         }
-        let stale =
-            |l: &Link| l.open.is_empty() && l.stale.is_some_and(|at| now > at.saturating_add(STALE_FOR));
-        let stale: Vec<LinkId> = self.links.iter().filter(|(_, l)| stale(l)).map(|(id, _)| *id).collect();
+        let stale = |l: &Link| {
+            l.open.is_empty() && l.stale.is_some_and(|at| now > at.saturating_add(STALE_FOR))
+        };
+        let stale: Vec<LinkId> = self
+            .links
+            .iter()
+            .filter(|(_, l)| stale(l))
+            .map(|(id, _)| *id)
+            .collect();
         stale.into_iter().for_each(|link| self.link_down(link));
         self.unsaid.retain(|(until, _)| now < *until);
         for (until, bytes) in std::mem::take(&mut self.unsaid) {
             // Where no connection that had a session is left, any that spoke is better than none.
-            let spoke = self.conns.values().filter(|c| c.spoke.load(Ordering::Relaxed)).map(|c| c.id);
+            let spoke = self
+                .conns
+                .values()
+                .filter(|c| c.spoke.load(Ordering::Relaxed))
+                .map(|c| c.id);
             let others: Vec<ConnId> = self.served.iter().rev().copied().chain(spoke).collect();
             if !others.into_iter().any(|other| self.say(other, &bytes)) {
                 self.unsaid.push_back((until, bytes));
             }
         }
-        let of_servers: usize =
-            self.servers.values().map(|s| s.held.len() + s.abandoned.len() + s.unsent.len()).sum();
+        let of_servers: usize = self
+            .servers
+            .values()
+            .map(|s| s.held.len() + s.abandoned.len() + s.unsent.len())
+            .sum();
         let own = self.sessions.len() + self.tags.len() + self.live.len() + self.unsaid.len();
-        self.shared.entries.store(own + of_servers, Ordering::Relaxed);
+        self.shared
+            .entries
+            .store(own + of_servers, Ordering::Relaxed);
     }
 }
--- a/crates/node/src/hub/said.rs
+++ b/crates/node/src/hub/said.rs
@@ -4,10 +4,14 @@
 impl Hub {
     pub(super) fn server(&mut self, id: LinkId, message: &rtsp::Message) {
         let now = clock::now();
-        let Some(link) = self.links.get_mut(&id) else { return };
+        let Some(link) = self.links.get_mut(&id) else {
+            return;
+        };
         (link.heard, link.stale) = (now, None);
         let server = link.server;
-        let Some(at) = self.servers.get_mut(&server) else { return };
+        let Some(at) = self.servers.get_mut(&server) else {
+            return;
+        };
         at.health.heard(now);
         let held = message.session.and_then(|tag| at.held.get(&tag).copied());
         tracing::trace!(link = id.0, server = server.0, tag = ?message.session, kind = ?message.kind, cseq = message.cseq,
@@ -17,7 +21,11 @@
             Kind::Response(status) => match message.cseq {
                 Some(cseq::SET_UP) => self.set_up_answered(id, server, held, *status, message),
                 Some(cseq::OPTIONS) => {
-                    let outcome = if *status == 200 { Outcome::Ok } else { Outcome::Error };
+                    let outcome = if *status == 200 {
+                        Outcome::Ok
+                    } else {
+                        Outcome::Error
+                    };
                     let report = self.report(message);
                     self.tell_core(Input::Probed(server, outcome, report));
                 }
@@ -57,7 +65,9 @@
             // waits for, or a second copy, is dropped.
             let tag = message.session.filter(|_| held.is_none() && status == 200);
             let at = self.servers.get_mut(&server);
-            let late = tag.zip(at).and_then(|(tag, at)| at.abandoned.remove(&tag).map(|_| tag));
+            let late = tag
+                .zip(at)
+                .and_then(|(tag, at)| at.abandoned.remove(&tag).map(|_| tag));
             if let Some(tag) = late {
                 return self.send_server(server, Some(link), rtsp::release(tag, cause::CANCELLED));
             }
@@ -93,7 +103,9 @@
             self.drop_live(attempt);
             return;
         }
-        let Some(live) = self.live.get_mut(&attempt) else { return };
+        let Some(live) = self.live.get_mut(&attempt) else {
+            return;
+        };
         live.answered = true;
         if let Some(link) = self.links.get_mut(&link) {
             link.open.retain(|a| *a != attempt);
@@ -112,13 +124,17 @@
             Msg::Server(link, messages) if of_server(link) => Some(messages),
             _ => None,
         });
-        let release = read.flatten().find(|m| m.session == session && m.is_release())?;
+        let release = read
+            .flatten()
+            .find(|m| m.session == session && m.is_release())?;
         Some((over(release), self.report(release)))
     }
 
     /// A server releases a session.
     fn released(&mut self, attempt: AttemptId, message: &rtsp::Message) {
-        let Some(live) = self.live.get(&attempt) else { return };
+        let Some(live) = self.live.get(&attempt) else {
+            return;
+        };
         let (player, report) = (live.player, self.report(message));
         if !live.answered {
             return self.set_up_ended(attempt, Outcome::Reset, report);
@@ -136,7 +152,10 @@
         let figures = message.state();
         let fields = &self.shared.config.fleet.fields;
         let figure = |name: &str| figures.iter().find(|(n, _)| *n == name).map(|(_, v)| *v);
-        fields.iter().filter_map(|(name, field)| Some((*field, figure(name)?))).collect()
+        fields
+            .iter()
+            .filter_map(|(name, field)| Some((*field, figure(name)?)))
+            .collect()
     }
 }
 
--- a/crates/node/src/hub/servers.rs
+++ b/crates/node/src/hub/servers.rs
@@ -4,7 +4,9 @@
 impl Link {
     /// Whether it came up and stands, as far as the kernel knows.
     fn is_up(&self) -> bool {
-        self.outbox.as_ref().is_some_and(|outbox| outbox.socket().is_open())
+        self.outbox
+            .as_ref()
+            .is_some_and(|outbox| outbox.socket().is_open())
     }
 
     pub(super) fn is_connecting(&self) -> bool {
@@ -18,7 +20,9 @@
 
     /// Whether some of what was written to it has not been sent.
     fn holds_unsent(&self) -> bool {
-        self.outbox.as_ref().is_some_and(|outbox| !outbox.is_empty() || outbox.socket().unsent() > 0)
+        self.outbox
+            .as_ref()
+            .is_some_and(|outbox| !outbox.is_empty() || outbox.socket().unsent() > 0)
     }
 }
 
@@ -26,7 +30,11 @@
     /// A server's link of this sort, the one used last first.
     pub(super) fn link_of(&self, server: ServerId, sort: impl Fn(&Link) -> bool) -> Option<LinkId> {
         let links = &self.servers.get(&server)?.links;
-        links.iter().rev().copied().find(|id| self.links.get(id).is_some_and(&sort))
+        links
+            .iter()
+            .rev()
+            .copied()
+            .find(|id| self.links.get(id).is_some_and(&sort))
     }
 
     /// An attempt that was out came to nothing.
@@ -54,7 +62,9 @@
 
     /// An attempt is given up. Its server may answer all the same.
     pub(super) fn abandon(&mut self, attempt: AttemptId, server: ServerId) {
-        let Some(live) = self.drop_live(attempt) else { return };
+        let Some(live) = self.drop_live(attempt) else {
+            return;
+        };
         let Some(sent) = live.sent else { return };
         if live.answered {
             return self.send_server(server, live.link, rtsp::release(live.tag, cause::CANCELLED));
@@ -63,18 +73,24 @@
         // again, long after its viewer has gone. Closing gives up all that is open on a connection, so the close says it.
         // Harm: where others wait on the same connection it leaves behind them.
         let alone = |l: &&Link| l.open.is_empty() && l.holds_unsent();
-        let unsent = live.link.filter(|id| self.links.get(id).filter(alone).is_some());
+        let unsent = live
+            .link
+            .filter(|id| self.links.get(id).filter(alone).is_some());
         if let Some(id) = unsent {
-            self.links.get(&id).and_then(|l| l.outbox.as_ref()).inspect(|outbox| outbox.socket().reset());
+            self.links
+                .get(&id)
+                .and_then(|l| l.outbox.as_ref())
+                .inspect(|outbox| outbox.socket().reset());
             return self.link_down(id);
         }
         let now = clock::now();
         if let Some(at) = self.servers.get_mut(&server) {
-            at.abandoned.insert(live.tag, now.saturating_add(ABANDONED_FOR));
+            at.abandoned
+                .insert(live.tag, now.saturating_add(ABANDONED_FOR));
         }
         if let Some(link) = live.link.and_then(|l| self.links.get_mut(&l)) {
-            let silent =
-                link.heard <= sent && now.saturating_sub(sent) > self.shared.config.fleet.connect_timeout;
+            let silent = link.heard <= sent
+                && now.saturating_sub(sent) > self.shared.config.fleet.connect_timeout;
             link.stale = link.stale.or(silent.then_some(now));
         }
         self.send_server(server, live.link, rtsp::give_up(live.tag));
@@ -84,12 +100,15 @@
     pub(super) fn send_server(&mut self, server: ServerId, link: Option<LinkId>, bytes: Vec<u8>) {
         let own = link.filter(|l| self.links.get(l).is_some_and(Link::is_up));
         let link = own.or_else(|| self.link_of(server, Link::is_up));
-        let outbox = link.and_then(|l| self.links.get(&l)).and_then(|l| l.outbox.clone());
+        let outbox = link
+            .and_then(|l| self.links.get(&l))
+            .and_then(|l| l.outbox.clone());
         if outbox.is_some_and(|outbox| outbox.push(&bytes)) {
             return;
         }
         if let Some(at) = self.servers.get_mut(&server).filter(|at| at.listed) {
-            at.unsent.push_back((clock::now().saturating_add(RELEASE_FOR), bytes));
+            at.unsent
+                .push_back((clock::now().saturating_add(RELEASE_FOR), bytes));
         }
     }
 
@@ -99,7 +118,14 @@
         let link = LinkId(self.last_link);
         server.links.insert(0, link);
         let heard = clock::now();
-        let dialed = Link { server: id, outbox: None, open: Vec::new(), heard, stale: None, dialed: heard };
+        let dialed = Link {
+            server: id,
+            outbox: None,
+            open: Vec::new(),
+            heard,
+            stale: None,
+            dialed: heard,
+        };
         self.links.insert(link, dialed);
         links::dial(&self.shared, link, server.address);
         Some(link)
@@ -107,9 +133,19 @@
 
     /// Closes a link that nothing needs, so that another can be opened; false if there is none.
     pub(super) fn drop_idle_link(&mut self) -> bool {
-        let spare = self.servers.values().filter(|s| s.links.len() > 1 || s.standing == 0);
-        let idle = |id: &LinkId| self.links.get(id).filter(|l| l.outbox.is_some() && l.open.is_empty());
-        let oldest = spare.flat_map(|s| &s.links).filter_map(|id| Some((idle(id)?.heard, *id))).min();
+        let spare = self
+            .servers
+            .values()
+            .filter(|s| s.links.len() > 1 || s.standing == 0);
+        let idle = |id: &LinkId| {
+            self.links
+                .get(id)
+                .filter(|l| l.outbox.is_some() && l.open.is_empty())
+        };
+        let oldest = spare
+            .flat_map(|s| &s.links)
+            .filter_map(|id| Some((idle(id)?.heard, *id)))
+            .min();
         oldest.map(|(_, id)| self.link_down(id)).is_some()
     }
 
@@ -121,7 +157,10 @@
         };
         let server = link.server;
         tracing::trace!(link = id.0, server = server.0, ?how, "connected or not");
-        let lost = self.servers.get_mut(&server).is_some_and(|s| s.health.dialed(now, how));
+        let lost = self
+            .servers
+            .get_mut(&server)
+            .is_some_and(|s| s.health.dialed(now, how));
         if outbox.is_none() {
             self.link_down(id);
             let up = self.link_of(server, |l| l.outbox.is_some()).is_some();
@@ -135,13 +174,20 @@
         if link.open.is_empty() {
             // It was only to see whether the server lives. Older ones with nothing out on them go: whatever made it
             // silent, this one is known to be good.
-            let idle = |l: &&LinkId| **l != id && self.links.get(l).is_some_and(|l| l.open.is_empty());
-            let older = self.servers.get(&server).map(|s| s.links.iter().filter(idle).copied().collect());
+            let idle =
+                |l: &&LinkId| **l != id && self.links.get(l).is_some_and(|l| l.open.is_empty());
+            let older = self
+                .servers
+                .get(&server)
+                .map(|s| s.links.iter().filter(idle).copied().collect());
             let older: Vec<LinkId> = older.unwrap_or_default();
             older.into_iter().for_each(|link| self.link_down(link));
         }
         self.released_to_leave(id);
-        let unsent = self.servers.get_mut(&server).map(|s| std::mem::take(&mut s.unsent));
+        let unsent = self
+            .servers
+            .get_mut(&server)
+            .map(|s| std::mem::take(&mut s.unsent));
         for (_, bytes) in unsent.unwrap_or_default() {
             self.send_server(server, Some(id), bytes);
         }
@@ -149,12 +195,20 @@
 
     /// What waits for a link to come up leaves on it, or on another.
     fn released_to_leave(&mut self, id: LinkId) {
-        let Some(link) = self.links.get_mut(&id) else { return };
+        let Some(link) = self.links.get_mut(&id) else {
+            return;
+        };
         let waits = |l: &Live| l.link == Some(id) && l.sent.is_none();
-        let waiting: Vec<AttemptId> =
-            link.open.iter().copied().filter(|a| self.live.get(a).is_some_and(waits)).collect();
+        let waiting: Vec<AttemptId> = link
+            .open
+            .iter()
+            .copied()
+            .filter(|a| self.live.get(a).is_some_and(waits))
+            .collect();
         link.open.retain(|a| !waiting.contains(a));
-        waiting.into_iter().for_each(|attempt| self.is_to_leave(attempt, Some(id)));
+        waiting
+            .into_iter()
+            .for_each(|attempt| self.is_to_leave(attempt, Some(id)));
     }
 
     fn connecting(&self, id: ServerId) -> Vec<LinkId> {
@@ -165,7 +219,9 @@
 
     /// What waits for a connection to this server is decided on anew, before it comes up.
     pub(super) fn waits_no_more(&mut self, id: ServerId) {
-        self.connecting(id).into_iter().for_each(|link| self.released_to_leave(link));
+        self.connecting(id)
+            .into_iter()
+            .for_each(|link| self.released_to_leave(link));
     }
 
     /// Connects to a server that are under way are of no use any more: what waits for them looks for another way. Danger: the
@@ -188,16 +244,28 @@
             self.stop_connecting(id);
         }
         let former = |at: u64| elsewhere || at < began;
-        let Some(server) = self.servers.get_mut(&id) else { return };
+        let Some(server) = self.servers.get_mut(&id) else {
+            return;
+        };
         server.unsent.clear();
-        let (links, held) = (server.links.clone(), server.held.values().copied().collect::<Vec<_>>());
-        let stood =
-            |a: &AttemptId| self.live.get(a).is_some_and(|l| l.answered && former(l.sent.unwrap_or(0)));
+        let (links, held) = (
+            server.links.clone(),
+            server.held.values().copied().collect::<Vec<_>>(),
+        );
+        let stood = |a: &AttemptId| {
+            self.live
+                .get(a)
+                .is_some_and(|l| l.answered && former(l.sent.unwrap_or(0)))
+        };
         let mut stood: Vec<AttemptId> = held.into_iter().filter(stood).collect();
         stood.sort_unstable();
         self.are_over(id, stood);
         for link in links {
-            if self.links.get(&link).is_some_and(|l| !l.is_connecting() && former(l.dialed)) {
+            if self
+                .links
+                .get(&link)
+                .is_some_and(|l| !l.is_connecting() && former(l.dialed))
+            {
                 self.link_down(link);
             }
         }
@@ -214,16 +282,31 @@
     /// connection that stands; then the set-up ends as one that the server failed. Either may have run. Harm: where a
     /// dying process closes its connections one by one, the first may be laid to the connection alone.
     pub(super) fn link_ended(&mut self, id: LinkId, spoilt: bool) {
-        let Some(link) = self.links.remove(&id) else { return };
+        let Some(link) = self.links.remove(&id) else {
+            return;
+        };
         let stands = |l: &Link| l.is_up() && l.stale.is_none();
         let lives = spoilt || !link.open.is_empty() && self.link_of(link.server, stands).is_some();
-        let outcome = if lives { Outcome::Error } else { Outcome::Reset };
-        tracing::trace!(link = id.0, server = link.server.0, open = link.open.len(), "a link is down");
+        let outcome = if lives {
+            Outcome::Error
+        } else {
+            Outcome::Reset
+        };
+        tracing::trace!(
+            link = id.0,
+            server = link.server.0,
+            open = link.open.len(),
+            "a link is down"
+        );
         link.outbox.iter().for_each(|outbox| outbox.socket().shut());
-        let Some(server) = self.servers.get_mut(&link.server) else { return };
+        let Some(server) = self.servers.get_mut(&link.server) else {
+            return;
+        };
         server.links.retain(|l| *l != id);
         for attempt in link.open {
-            let Some(live) = self.live.get(&attempt) else { continue };
+            let Some(live) = self.live.get(&attempt) else {
+                continue;
+            };
             if live.sent.is_none() {
                 self.set_up_ended(attempt, Outcome::ConnectFailed, Report::new()); // It never came up.
                 continue;
@@ -238,9 +321,13 @@
 
     /// Sees to it that a server whose words are needed is heard.
     pub(super) fn watch(&mut self, id: ServerId, now: u64) {
-        let up = self.link_of(id, |l| l.outbox.is_some() && l.stale.is_none()).is_some();
+        let up = self
+            .link_of(id, |l| l.outbox.is_some() && l.stale.is_none())
+            .is_some();
         let dialing = self.link_of(id, |l| l.outbox.is_none()).is_some();
-        let Some(server) = self.servers.get_mut(&id) else { return };
+        let Some(server) = self.servers.get_mut(&id) else {
+            return;
+        };
         let needed = server.standing > 0 || !server.unsent.is_empty();
         if server.listed && needed && !dialing && server.health.wants_dial(now, up) {
             if self.has_room_for_link() || self.drop_idle_link() {
@@ -253,7 +340,9 @@
 
     /// All that stood at a server is no more.
     pub(super) fn lose(&mut self, id: ServerId) {
-        let Some(server) = self.servers.get_mut(&id) else { return };
+        let Some(server) = self.servers.get_mut(&id) else {
+            return;
+        };
         server.unsent.clear();
         server.abandoned.clear();
         let mut lost: Vec<AttemptId> = server.held.values().copied().collect();
@@ -275,15 +364,23 @@
     }
 
     pub(super) fn close_links(&mut self, id: ServerId) {
-        let links = self.servers.get(&id).map(|s| s.links.clone()).unwrap_or_default();
+        let links = self
+            .servers
+            .get(&id)
+            .map(|s| s.links.clone())
+            .unwrap_or_default();
         links.into_iter().for_each(|link| self.link_down(link));
     }
 
     pub(super) fn holds(&mut self, player: PlayerId, attempt: AttemptId, server: ServerId) {
         let now = clock::now();
-        let Some(session) = self.sessions.get_mut(&player) else { return };
+        let Some(session) = self.sessions.get_mut(&player) else {
+            return;
+        };
         let tag = session.tag;
-        let Some(at) = self.servers.get_mut(&server) else { return };
+        let Some(at) = self.servers.get_mut(&server) else {
+            return;
+        };
         at.held.insert(tag, attempt);
         at.standing += 1;
         at.health.begins(now);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -70,7 +70,12 @@
             move |socket, place| viewers::serve(socket, &place, &of_viewers),
         );
         tracing::info!(%address, "listening");
-        Ok(Node { address, shared, stopped, done: Mutex::new(done) })
+        Ok(Node {
+            address,
+            shared,
+            stopped,
+            done: Mutex::new(done),
+        })
     }
 
     /// Where it listens.
@@ -99,7 +104,11 @@
 
     /// Waits for the end that [`Node::drain`] brings. Call on a thread, not in a coroutine.
     pub fn wait(&self) {
-        let _ = self.done.lock().unwrap_or_else(PoisonError::into_inner).recv();
+        let _ = self
+            .done
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .recv();
         self.stopped.store(true, Ordering::Release);
         let _ = TcpStream::connect(self.address); // Wakes the listener, which finds that it is over.
     }
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -16,7 +16,10 @@
     shared.links.fetch_add(1, Ordering::Relaxed);
     let shared = shared.clone();
     spawn(Stack::Usual, move || {
-        match Socket::connect(&address, connect_within(shared.config.fleet.connect_timeout)) {
+        match Socket::connect(
+            &address,
+            connect_within(shared.config.fleet.connect_timeout),
+        ) {
             Ok(socket) => {
                 let outbox = Arc::new(Outbox::new(Arc::new(socket), shared.budget.outbox));
                 shared.tell(Msg::Dialed(link, Dialed::Up, Some(outbox.clone())));
@@ -29,9 +32,9 @@
                 shared.links.fetch_sub(1, Ordering::Relaxed);
                 let how = match e.kind() {
                     ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => Dialed::Refused,
-                    ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable => {
-                        Dialed::Silent
-                    }
+                    ErrorKind::TimedOut
+                    | ErrorKind::HostUnreachable
+                    | ErrorKind::NetworkUnreachable => Dialed::Silent,
                     _ => Dialed::Unable,
                 };
                 shared.tell(Msg::Dialed(link, how, None));
--- a/crates/node/src/poller.rs
+++ b/crates/node/src/poller.rs
@@ -27,15 +27,26 @@
     // Danger: a socket that is opened when the directory moves wants a descriptor at a time when crowds may hold them all. This one
     // is bound at the start, from the node's own address, and turned to whoever is asked; only he comes through.
     let socket = UdpSocket::bind(SocketAddr::new(shared.config.listen.ip(), 0))?;
-    let thread = std::thread::Builder::new().name("directory".into()).stack_size(STACK);
+    let thread = std::thread::Builder::new()
+        .name("directory".into())
+        .stack_size(STACK);
     thread.spawn(move || {
-        let mut line = Line { socket, to: None, asked: VecDeque::new() };
-        let mut held = Held { list: shared.config.known.clone(), lower: 0 };
+        let mut line = Line {
+            socket,
+            to: None,
+            asked: VecDeque::new(),
+        };
+        let mut held = Held {
+            list: shared.config.known.clone(),
+            lower: 0,
+        };
         while !until.load(Ordering::Acquire) {
             line.turn_to(shared.nameserver());
             line.ask();
             if let Some(list) = line.answer() {
-                held.take(list).into_iter().for_each(|news| shared.tell(Msg::List(news)));
+                held.take(list)
+                    .into_iter()
+                    .for_each(|news| shared.tell(Msg::List(news)));
                 std::thread::sleep(EVERY);
             }
         }
@@ -88,19 +99,26 @@
         if self.to != Some(to) {
             self.asked.clear();
             let connected = self.socket.connect(to);
-            let said =
-                connected.inspect_err(|fault| tracing::error!(%fault, %to, "the directory can't be asked"));
+            let said = connected
+                .inspect_err(|fault| tracing::error!(%fault, %to, "the directory can't be asked"));
             self.to = said.ok().map(|()| to);
         }
     }
 
     fn ask(&mut self) {
         let now = Instant::now();
-        while self.asked.front().is_some_and(|(_, at)| now.duration_since(*at) > LATEST) {
+        while self
+            .asked
+            .front()
+            .is_some_and(|(_, at)| now.duration_since(*at) > LATEST)
+        {
             self.asked.pop_front();
         }
         let id: u16 = rand::random();
-        match query(id).map_err(io::Error::other).and_then(|bytes| self.socket.send(&bytes)) {
+        match query(id)
+            .map_err(io::Error::other)
+            .and_then(|bytes| self.socket.send(&bytes))
+        {
             Ok(_) => self.asked.push_back((id, now)),
             Err(fault) => tracing::debug!(%fault, "the directory can't be asked"),
         }
@@ -114,14 +132,25 @@
         let until = Instant::now() + WITHIN;
         let mut bytes = [0u8; MOST_ANSWER];
         loop {
-            let left = until.checked_duration_since(Instant::now()).filter(|left| !left.is_zero())?;
-            match self.socket.set_read_timeout(Some(left)).and_then(|()| self.socket.recv(&mut bytes)) {
+            let left = until
+                .checked_duration_since(Instant::now())
+                .filter(|left| !left.is_zero())?;
+            match self
+                .socket
+                .set_read_timeout(Some(left))
+                .and_then(|()| self.socket.recv(&mut bytes))
+            {
                 Ok(got) => {
                     if let Some(list) = self.read(&bytes[..got]) {
                         return Some(list);
                     }
                 }
-                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+                Err(e)
+                    if matches!(
+                        e.kind(),
+                        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+                    ) =>
+                {
                     return None
                 }
                 Err(_) => std::thread::sleep(left), // Nobody listens there, or the machine can't ask.
@@ -130,7 +159,8 @@
     }
 
     fn read(&mut self, bytes: &[u8]) -> Option<List> {
-        let asked = id_of(bytes).and_then(|id| self.asked.iter().position(|(asked, _)| *asked == id));
+        let asked =
+            id_of(bytes).and_then(|id| self.asked.iter().position(|(asked, _)| *asked == id));
         let Some(at) = asked else {
             tracing::debug!("an answer that was not asked for");
             return None;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -104,11 +104,17 @@
     }
 
     pub fn nameserver(&self) -> SocketAddr {
-        *self.nameserver.lock().unwrap_or_else(PoisonError::into_inner)
+        *self
+            .nameserver
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     pub fn set_nameserver(&self, address: SocketAddr) {
-        *self.nameserver.lock().unwrap_or_else(PoisonError::into_inner) = address;
+        *self
+            .nameserver
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = address;
     }
 
     pub fn counts(&self) -> Counts {
--- a/crates/node/tests/events.rs
+++ b/crates/node/tests/events.rs
@@ -28,14 +28,32 @@
             Event::Timer(_) => return None,
             Event::Roster(kind, list) => format!("{kind:?} {list:?}"),
             Event::Ask(a) => format!("ask {}: {}", self.id(a.request), ask(a)),
-            Event::Adopted(a, server) => format!("adopted {} at {server:?}: {}", self.id(a.request), ask(a)),
-            Event::Playing { request, attempt, server, .. } => {
+            Event::Adopted(a, server) => {
+                format!("adopted {} at {server:?}: {}", self.id(a.request), ask(a))
+            }
+            Event::Playing {
+                request,
+                attempt,
+                server,
+                ..
+            } => {
                 format!("playing {} {attempt} {server:?}", self.id(*request))
             }
-            Event::Note { request, server, note } => {
+            Event::Note {
+                request,
+                server,
+                note,
+            } => {
                 format!("note {} {server:?} {note:?}", self.id(*request))
             }
-            Event::Ended { request, attempt, server, outcome, closed, report } => {
+            Event::Ended {
+                request,
+                attempt,
+                server,
+                outcome,
+                closed,
+                report,
+            } => {
                 let id = self.id(*request);
                 format!("ended {id} {attempt} {server:?} {outcome:?} closed {closed} {report:?}")
             }
@@ -94,11 +112,23 @@
 }
 
 fn headers(request: u64, server: u32) -> Vec<u8> {
-    record(60, &[&request.to_le_bytes(), &[0], &server.to_le_bytes(), &[0; 8]])
+    record(
+        60,
+        &[&request.to_le_bytes(), &[0], &server.to_le_bytes(), &[0; 8]],
+    )
 }
 
 fn notice(request: u64, server: u32, kind: u8, amount: f32) -> Vec<u8> {
-    record(90, &[&request.to_le_bytes(), &[0], &server.to_le_bytes(), &[kind], &amount.to_le_bytes()])
+    record(
+        90,
+        &[
+            &request.to_le_bytes(),
+            &[0],
+            &server.to_le_bytes(),
+            &[kind],
+            &amount.to_le_bytes(),
+        ],
+    )
 }
 
 fn result(request: u64, server: u32, closed: bool, outcome: u16, x0: Option<f32>) -> Vec<u8> {
@@ -136,7 +166,9 @@
         frame.extend(1u32.to_le_bytes());
         frame.extend(record);
         frame.extend(tail);
-        let batch = Batch::read(&mut frame.as_slice()).expect("a frame").expect("one");
+        let batch = Batch::read(&mut frame.as_slice())
+            .expect("a frame")
+            .expect("one");
         let event = match batch.record(0).expect("a record") {
             Record::Directory { list, entries } => {
                 lists.insert(list, entries);
@@ -144,7 +176,9 @@
             }
             Record::Topology { kind, list, .. } => Event::Roster(kind, lists[&list].clone()),
             Record::Front { event, .. } => event,
-            Record::Reported { mut event, values, .. } => {
+            Record::Reported {
+                mut event, values, ..
+            } => {
                 name_report(&mut event, &values, &[LoadField::LinkAsked]);
                 event
             }
@@ -161,7 +195,13 @@
     directory.extend(0u32.to_le_bytes());
     directory.extend((entries.len() as u32).to_le_bytes());
     directory.resize(72, 0);
-    [(directory, tail), (record(130, &[&[kind], &5u64.to_le_bytes(), &[0]]), Vec::new())]
+    [
+        (directory, tail),
+        (
+            record(130, &[&[kind], &5u64.to_le_bytes(), &[0]]),
+            Vec::new(),
+        ),
+    ]
 }
 
 // ---- the same story over sockets ----
@@ -181,14 +221,22 @@
             }
         };
         let rig = Rig::start_tapped(servers, |_| {}, Some(Box::new(tap)));
-        (rig, Tapped { events, heard: Vec::new() })
+        (
+            rig,
+            Tapped {
+                events,
+                heard: Vec::new(),
+            },
+        )
     }
 
     /// Waits until the module has heard something that begins like this.
     fn until(&mut self, begins: &str) {
         loop {
-            let text =
-                self.events.recv_timeout(LONG).unwrap_or_else(|_| panic!("no {begins:?}: {:?}", self.heard));
+            let text = self
+                .events
+                .recv_timeout(LONG)
+                .unwrap_or_else(|_| panic!("no {begins:?}: {:?}", self.heard));
             let found = text.starts_with(begins);
             self.heard.push(text);
             if found {
--- a/crates/node/tests/made_up.rs
+++ b/crates/node/tests/made_up.rs
@@ -36,9 +36,13 @@
         info["rate-factor"] = json!([1.0, 0.5, 2.0]);
         info["level-kb"] = json!([50.0, 110.0, 260.0]);
         info["rung-worth"] = json!([0.2, 0.6, 1.0]);
-        let party = |n: usize| json!({"name": format!("t{n}"), "quota_per_s": 50.0, "quota-per-s": 50.0});
+        let party =
+            |n: usize| json!({"name": format!("t{n}"), "quota_per_s": 50.0, "quota-per-s": 50.0});
         settings["parties"] = json!((0..7).map(party).collect::<Vec<_>>());
-        for instance in config["known"]["results"][0]["fleet"]["instances"].as_array_mut().unwrap() {
+        for instance in config["known"]["results"][0]["fleet"]["instances"]
+            .as_array_mut()
+            .unwrap()
+        {
             instance["zone"] = json!("");
         }
     });
@@ -50,7 +54,13 @@
         let mut asked = set_up(tag(n), CLASSES[class], "8000", "");
         asked["opts"]["tenant"] = json!(format!("t{}", n % 7));
         viewer.say(&asked);
-        stories.insert(tag(n).as_str().to_owned(), Story { class, ..Story::default() });
+        stories.insert(
+            tag(n).as_str().to_owned(),
+            Story {
+                class,
+                ..Story::default()
+            },
+        );
     }
     let (mut answered, mut heard) = (0, 0u64);
     while answered < REQUESTS {
@@ -59,19 +69,24 @@
         for server in &rig.servers {
             while let Some((conn, message)) = server.look_for("SETUP") {
                 let of = session_of(&message);
-                let story = stories.get_mut(of.as_str()).expect("a request that a viewer sent");
+                let story = stories
+                    .get_mut(of.as_str())
+                    .expect("a request that a viewer sent");
                 assert!(
                     !(story.class == 0 && story.may_have_run),
                     "what may have run once is sent again: {of}"
                 );
                 assert_eq!(message.header("Subject"), Some(CLASSES[story.class]));
-                let rung: u8 = message.header("Rate-Step").map_or(0, |r| r.parse().unwrap());
+                let rung: u8 = message
+                    .header("Rate-Step")
+                    .map_or(0, |r| r.parse().unwrap());
                 let (floor, top) = [(1, 2), (0, 2), (0, 1)][story.class];
                 assert!((floor..=top).contains(&rung), "{of} at rung {rung}");
                 story.sent += 1;
                 assert!(story.sent <= 4, "{of} was sent {} times", story.sent);
                 assert!(
-                    out.insert(of.as_str().to_owned(), (server, conn, of)).is_none(),
+                    out.insert(of.as_str().to_owned(), (server, conn, of))
+                        .is_none(),
                     "two attempts out for {of}"
                 );
             }
@@ -93,11 +108,14 @@
             if line["verb"] == "ECHOED" {
                 break;
             }
-            let story = stories.get_mut(line["tag"].as_str().unwrap()).expect("an answer to a request");
+            let story = stories
+                .get_mut(line["tag"].as_str().unwrap())
+                .expect("an answer to a request");
             story.answers += 1;
             answered += 1;
             assert_eq!(story.answers, 1, "{line}");
-            let refused = line["verb"] == "FINISH" && [34, 42, 102].contains(&line["rc"].as_u64().unwrap());
+            let refused =
+                line["verb"] == "FINISH" && [34, 42, 102].contains(&line["rc"].as_u64().unwrap());
             assert!(
                 !(refused && story.class == 0 && story.may_have_run),
                 "a refusal says that nothing ran: {line}"
--- a/crates/node/tests/rig/mod.rs
+++ b/crates/node/tests/rig/mod.rs
@@ -101,7 +101,10 @@
     fn look<T>(&self, wanted: impl Fn(&Heard) -> Option<T>) -> Option<T> {
         let mut held = self.held.borrow_mut();
         held.extend(self.heard.try_iter());
-        let (at, found) = held.iter().enumerate().find_map(|(at, heard)| Some((at, wanted(heard)?)))?;
+        let (at, found) = held
+            .iter()
+            .enumerate()
+            .find_map(|(at, heard)| Some((at, wanted(heard)?)))?;
         held.remove(at);
         Some(found)
     }
@@ -120,7 +123,13 @@
     pub fn opened(&self) -> usize {
         let mut found = None;
         wait("the node connects", || {
-            found = self.look(|heard| if let Heard::Opened(conn) = heard { Some(*conn) } else { None });
+            found = self.look(|heard| {
+                if let Heard::Opened(conn) = heard {
+                    Some(*conn)
+                } else {
+                    None
+                }
+            });
             found.is_some()
         });
         found.unwrap_or_default()
@@ -275,20 +284,30 @@
         std::thread::spawn(move || {
             let (mut bytes, mut kept) = ([0u8; 1024], VecDeque::new());
             while let Ok((got, from)) = socket.recv_from(&mut bytes) {
-                let Ok(query) = Dns::from_vec(&bytes[..got]) else { continue };
+                let Ok(query) = Dns::from_vec(&bytes[..got]) else {
+                    continue;
+                };
                 let told = now.lock().expect("unpoisoned").clone();
                 let answer = list(query.metadata.id, &told);
                 if told.spoilt != Some(Spoilt::Silence) {
                     kept.push_back((answer.to_vec().expect("written"), from));
                 }
-                let behind = if let Some(Spoilt::Behind(n)) = told.spoilt { n } else { 0 };
+                let behind = if let Some(Spoilt::Behind(n)) = told.spoilt {
+                    n
+                } else {
+                    0
+                };
                 for (answer, from) in kept.drain(..kept.len().saturating_sub(behind)) {
                     let _ = socket.send_to(&answer, from);
                 }
                 count.fetch_add(1, Ordering::AcqRel);
             }
         });
-        Directory { address, told, asked }
+        Directory {
+            address,
+            told,
+            asked,
+        }
     }
 
     pub fn tell(&self, change: impl FnOnce(&mut Told)) {
@@ -308,19 +327,40 @@
 
 fn list(id: u16, told: &Told) -> Dns {
     let name = |text: &str| Name::from_str(text).expect("a name");
-    let id = if told.spoilt == Some(Spoilt::OtherId) { id.wrapping_add(1) } else { id };
+    let id = if told.spoilt == Some(Spoilt::OtherId) {
+        id.wrapping_add(1)
+    } else {
+        id
+    };
     let mut message = Dns::new(id, MessageType::Response, OpCode::Query);
     for line in &told.lines {
         let host = name(&format!("{}.{}.hosts.", line.name, line.zone));
-        let IpAddr::V4(ip) = line.address.ip() else { panic!("an IPv4 address") };
+        let IpAddr::V4(ip) = line.address.ip() else {
+            panic!("an IPv4 address")
+        };
         let srv = SRV::new(line.priority, 10, line.address.port(), host.clone());
-        message.add_answer(Record::from_rdata(name("_work._tcp.fleet.local."), 0, RData::SRV(srv)));
+        message.add_answer(Record::from_rdata(
+            name("_work._tcp.fleet.local."),
+            0,
+            RData::SRV(srv),
+        ));
         message.add_additional(Record::from_rdata(host.clone(), 0, RData::A(A(ip))));
-        let text =
-            vec![format!("kind={}", line.kind), "cell=0".to_owned(), format!("started={}", line.started_ms)];
+        let text = vec![
+            format!("kind={}", line.kind),
+            "cell=0".to_owned(),
+            format!("started={}", line.started_ms),
+        ];
         message.add_additional(Record::from_rdata(host, 0, RData::TXT(TXT::new(text))));
     }
-    let soa = SOA::new(name("ns.fleet.local."), name("ops.fleet.local."), told.serial, 1, 1, 1, 1);
+    let soa = SOA::new(
+        name("ns.fleet.local."),
+        name("ops.fleet.local."),
+        told.serial,
+        1,
+        1,
+        1,
+        1,
+    );
     message.add_authority(Record::from_rdata(name("fleet.local."), 0, RData::SOA(soa)));
     message.metadata.truncation = told.spoilt == Some(Spoilt::Truncated);
     if told.spoilt == Some(Spoilt::Failure) {
@@ -392,13 +432,22 @@
     /// The same, and shows what the decision module hears.
     pub fn start_tapped(servers: u32, change: impl FnOnce(&mut Value), tap: Option<Tap>) -> Rig {
         let servers: Vec<Server> = (1..=servers).map(Server::start).collect();
-        let directory = Directory::start(Told { serial: 1, lines: lines(&servers), spoilt: None });
+        let directory = Directory::start(Told {
+            serial: 1,
+            lines: lines(&servers),
+            spoilt: None,
+        });
         let mut config = configuration(&servers, &directory);
         change(&mut config);
         crankpaddle_net::start(Some(1));
         let parsed = Config::parse(config.to_string().as_bytes()).expect("a sound configuration");
         let node = Arc::new(Node::start_tapped(parsed, tap).expect("it starts"));
-        Rig { node, servers, directory, config }
+        Rig {
+            node,
+            servers,
+            directory,
+            config,
+        }
     }
 
     pub fn viewer(&self) -> Viewer {
@@ -409,10 +458,19 @@
     pub fn set_up(&self) -> (&Server, usize, Message) {
         let mut found = None;
         wait_or(
-            || format!("a set-up reaches a server; the node holds {:?}", self.node.counts()),
+            || {
+                format!(
+                    "a set-up reaches a server; the node holds {:?}",
+                    self.node.counts()
+                )
+            },
             || {
                 let first = |s: &'_ Server| s.look_for("SETUP");
-                found = self.servers.iter().enumerate().find_map(|(at, s)| Some((at, first(s)?)));
+                found = self
+                    .servers
+                    .iter()
+                    .enumerate()
+                    .find_map(|(at, s)| Some((at, first(s)?)));
                 found.is_some()
             },
         );
@@ -464,7 +522,9 @@
     pub fn connect(address: SocketAddr) -> Viewer {
         let stream = TcpStream::connect(address).expect("the node listens");
         stream.set_read_timeout(Some(LONG)).expect("a bound");
-        stream.set_nodelay(true).expect("small lines go out at once");
+        stream
+            .set_nodelay(true)
+            .expect("small lines go out at once");
         let reader = BufReader::new(stream.try_clone().expect("a descriptor"));
         Viewer { stream, reader }
     }
@@ -491,13 +551,17 @@
 
     /// Breaks the connection at once.
     pub fn reset(self) {
-        rustix::net::sockopt::set_socket_linger(&self.stream, Some(Duration::ZERO)).expect("an option");
+        rustix::net::sockopt::set_socket_linger(&self.stream, Some(Duration::ZERO))
+            .expect("an option");
     }
 
     /// The next line.
     pub fn line(&mut self) -> Value {
         let mut line = String::new();
-        let got = self.reader.read_line(&mut line).expect("the node says something in time");
+        let got = self
+            .reader
+            .read_line(&mut line)
+            .expect("the node says something in time");
         assert!(got > 0, "the node closed the connection");
         serde_json::from_str(&line).unwrap_or_else(|e| panic!("{line:?}: {e}"))
     }
@@ -554,7 +618,9 @@
 
     /// Waits until the node stands at the gate.
     pub fn reached(&self) {
-        self.reached.recv_timeout(LONG).expect("the node comes to the gate");
+        self.reached
+            .recv_timeout(LONG)
+            .expect("the node comes to the gate");
     }
 
     pub fn open(&self) {
--- a/crates/node/tests/rough.rs
+++ b/crates/node/tests/rough.rs
@@ -45,9 +45,15 @@
     let (server, first, _) = rig.set_up();
     viewer.start(tag(2), PAID, 15_000);
     let (_, second, _) = rig.set_up();
-    assert_ne!(first, second, "each has a connection of its own while there are enough");
+    assert_ne!(
+        first, second,
+        "each has a connection of its own while there are enough"
+    );
     server.send(first, b"\x01\x02\x03");
-    assert_eq!((&viewer.line()["rc"], rig.node.counts().waiting), (&json!(41), 1));
+    assert_eq!(
+        (&viewer.line()["rc"], rig.node.counts().waiting),
+        (&json!(41), 1)
+    );
     server.send(second, &stands(tag(2), "x"));
     assert_eq!(viewer.line()["verb"], "STARTED");
 }
@@ -74,7 +80,11 @@
         "the connection is still good"
     );
     server.send(conn, &response(500, 1, tag(1), "", ""));
-    assert_eq!(viewer.echo()["verb"], "ECHOED", "what stands does not fall by a stray refusal");
+    assert_eq!(
+        viewer.echo()["verb"],
+        "ECHOED",
+        "what stands does not fall by a stray refusal"
+    );
     assert_eq!(rig.node.counts().playing, 2);
 }
 
@@ -104,14 +114,20 @@
     let mut other = set_up(tag(1), FREE, "15000", "");
     other["blob"] = json!("another description");
     bad.say(&other);
-    assert!(bad.ended(), "closed without a word that could be taken for the honest one's answer");
+    assert!(
+        bad.ended(),
+        "closed without a word that could be taken for the honest one's answer"
+    );
     // Nor may a stranger give up what it does not wait for.
     let mut stranger = rig.viewer();
     stranger.finish(tag(1), 16);
     assert_eq!(stranger.line()["verb"], "FINISHED");
     server.send(conn, &stands(tag(1), "mine"));
     assert_eq!(honest.line()["blob"], "mine");
-    assert!(server.rest().iter().all(|h| !matches!(h, Heard::Said(..))), "one set-up reached the server");
+    assert!(
+        server.rest().iter().all(|h| !matches!(h, Heard::Said(..))),
+        "one set-up reached the server"
+    );
 }
 
 #[test]
@@ -125,9 +141,18 @@
         ("too long a message", format!("{long}\n").into_bytes()),
         ("no JSON", b"hello\n".to_vec()),
         ("no id", b"{\"verb\":\"START\",\"opts\":{}}\n".to_vec()),
-        ("an id that is none", b"{\"verb\":\"START\",\"tag\":\"12\",\"opts\":{}}\n".to_vec()),
-        ("RTSP", b"OPTIONS rtsp://media/ping RTSP/1.0\r\n\r\n".to_vec()),
-        ("nested without end", [vec![b'['; 10_000], vec![b'\n']].concat()),
+        (
+            "an id that is none",
+            b"{\"verb\":\"START\",\"tag\":\"12\",\"opts\":{}}\n".to_vec(),
+        ),
+        (
+            "RTSP",
+            b"OPTIONS rtsp://media/ping RTSP/1.0\r\n\r\n".to_vec(),
+        ),
+        (
+            "nested without end",
+            [vec![b'['; 10_000], vec![b'\n']].concat(),
+        ),
     ];
     for (what, bytes) in bad {
         let mut client = rig.viewer();
@@ -160,7 +185,11 @@
         let mut client = rig.viewer();
         client.say(&asked);
         let end = client.line();
-        assert_eq!((&end["verb"], &end["rc"]), (&json!("FINISH"), &json!(100)), "{what}");
+        assert_eq!(
+            (&end["verb"], &end["rc"]),
+            (&json!("FINISH"), &json!(100)),
+            "{what}"
+        );
     }
     assert!(rig.servers[0].rest().is_empty(), "no server heard of them");
     rig.idle();
@@ -175,7 +204,11 @@
     let (mut silent, mut half) = (rig.viewer(), rig.viewer());
     half.send(b"{\"verb\":\"START\",");
     assert!(silent.ended() && half.ended());
-    assert!(before.elapsed().as_millis() < 3000, "owed within 3 s: {:?}", before.elapsed());
+    assert!(
+        before.elapsed().as_millis() < 3000,
+        "owed within 3 s: {:?}",
+        before.elapsed()
+    );
     assert_eq!(holder.echo()["verb"], "ECHOED");
 }
 
@@ -198,7 +231,12 @@
 #[test]
 fn answers_of_the_directory_that_say_nothing_change_nothing() {
     let rig = Rig::start(2);
-    for spoilt in [Spoilt::Failure, Spoilt::Truncated, Spoilt::OtherId, Spoilt::Silence] {
+    for spoilt in [
+        Spoilt::Failure,
+        Spoilt::Truncated,
+        Spoilt::OtherId,
+        Spoilt::Silence,
+    ] {
         rig.directory.tell(|t| {
             (t.serial, t.spoilt) = (9, Some(spoilt));
             t.lines.truncate(1);
@@ -212,13 +250,20 @@
     for n in 0..40 {
         asked.insert(rig.session(&mut viewer, tag(n), FREE).0.name.clone());
     }
-    assert_eq!(asked.len(), 2, "an older list and spoilt ones are not followed");
+    assert_eq!(
+        asked.len(),
+        2,
+        "an older list and spoilt ones are not followed"
+    );
     let before = rig.directory.asked();
     rig.directory.tell(|t| t.spoilt = Some(Spoilt::Silence));
     let since = Instant::now();
     rig.directory.wait_asked(5);
     let rate = (rig.directory.asked() - before) as f64 / since.elapsed().as_secs_f64();
-    assert!(rate < 20.0, "a silent directory is not flooded: {rate} a second");
+    assert!(
+        rate < 20.0,
+        "a silent directory is not flooded: {rate} a second"
+    );
 }
 
 #[test]
@@ -227,16 +272,25 @@
     let mut viewer = rig.viewer();
     rig.session(&mut viewer, tag(1), FREE);
     rig.directory.tell(|t| t.spoilt = Some(Spoilt::Silence));
-    let told = Told { serial: 2, lines: lines(&rig.servers[..1]), spoilt: None };
+    let told = Told {
+        serial: 2,
+        lines: lines(&rig.servers[..1]),
+        spoilt: None,
+    };
     let other = Directory::start(told);
     let mut config = rig.config.clone();
     config["nameserver"] = json!(other.address.to_string());
-    let parsed =
-        crankpaddle_node_protocol::config::Config::parse(config.to_string().as_bytes()).expect("sound");
-    rig.node.reload(&parsed).expect("only the nameserver differs");
+    let parsed = crankpaddle_node_protocol::config::Config::parse(config.to_string().as_bytes())
+        .expect("sound");
+    rig.node
+        .reload(&parsed)
+        .expect("only the nameserver differs");
     other.wait_asked(2);
     for n in 10..20 {
-        assert_eq!(rig.session(&mut viewer, tag(n), FREE).0.name, rig.servers[0].name);
+        assert_eq!(
+            rig.session(&mut viewer, tag(n), FREE).0.name,
+            rig.servers[0].name
+        );
     }
 }
 
@@ -247,7 +301,10 @@
     let (old, conn) = rig.session(&mut viewer, tag(1), FREE);
     old.die();
     let end = viewer.line();
-    assert_eq!((&end["tag"], &end["rc"]), (&json!(tag(1).as_str()), &json!(41)));
+    assert_eq!(
+        (&end["tag"], &end["rc"]),
+        (&json!(tag(1).as_str()), &json!(41))
+    );
     let new = std::iter::from_fn(|| {
         std::thread::yield_now();
         std::net::TcpListener::bind(old.address).ok()
@@ -256,11 +313,16 @@
     .expect("the port is free again");
     drop(new);
     let new = Server::start_at(99, old.address);
-    rig.directory.tell(|t| (t.serial, t.lines) = (2, lines(std::slice::from_ref(&new))));
+    rig.directory
+        .tell(|t| (t.serial, t.lines) = (2, lines(std::slice::from_ref(&new))));
     rig.directory.wait_asked(3);
     viewer.start(tag(2), PAID, 15_000);
     let (fresh, message) = new.said("SETUP");
-    assert_eq!(message.session, Some(tag(2)), "it is not blamed for the other's death");
+    assert_eq!(
+        message.session,
+        Some(tag(2)),
+        "it is not blamed for the other's death"
+    );
     new.send(fresh, &stands(tag(2), "x"));
     assert_eq!(viewer.line()["verb"], "STARTED");
     let _ = conn;
@@ -285,7 +347,10 @@
         }
         assert_eq!(viewer.line()["verb"], "ECHOED");
     };
-    assert_ne!(again, silent, "for all one knows the machine behind it is gone");
+    assert_ne!(
+        again, silent,
+        "for all one knows the machine behind it is gone"
+    );
     server.send(again, &stands(tag(n), "x"));
     assert_eq!(viewer.line()["verb"], "STARTED");
 }
@@ -303,8 +368,16 @@
         (&end["verb"], &end["tag"], &end["rc"]),
         (&json!("FINISH"), &json!(tag(1).as_str()), &json!(41))
     );
-    assert!(before.elapsed().as_secs() < 8, "released in time: {:?}", before.elapsed());
+    assert!(
+        before.elapsed().as_secs() < 8,
+        "released in time: {:?}",
+        before.elapsed()
+    );
     assert!(!full.is_empty());
     viewer.start(tag(2), PAID, 15_000);
-    assert_eq!(viewer.line()["rc"], 34, "nothing is sent there, so nothing can have run");
+    assert_eq!(
+        viewer.line()["rc"],
+        34,
+        "nothing is sent there, so nothing can have run"
+    );
 }
--- a/crates/node/tests/sessions.rs
+++ b/crates/node/tests/sessions.rs
@@ -13,10 +13,20 @@
     asked["blob"] = json!(blob);
     viewer.say(&asked);
     let (server, conn, message) = rig.set_up();
-    assert_eq!((message.cseq, message.session, message.text()), (Some(1), Some(tag(1)), Some(blob)));
+    assert_eq!(
+        (message.cseq, message.session, message.text()),
+        (Some(1), Some(tag(1)), Some(blob))
+    );
     assert_eq!(message.header("Subject"), Some(FREE));
-    assert_eq!(message.header("Rate-Step"), Some("1"), "an empty server gives the best rung");
-    let patience: u64 = message.header("X-Patience").and_then(|p| p.parse().ok()).expect("a number");
+    assert_eq!(
+        message.header("Rate-Step"),
+        Some("1"),
+        "an empty server gives the best rung"
+    );
+    let patience: u64 = message
+        .header("X-Patience")
+        .and_then(|p| p.parse().ok())
+        .expect("a number");
     assert!((1..=1500).contains(&patience), "{patience}");
     server.send(
         conn,
@@ -24,7 +34,10 @@
     );
     server.send(conn, &stands(tag(1), "made\r\nhere\r\n"));
     let answer = viewer.line();
-    assert_eq!((&answer["verb"], &answer["blob"]), (&json!("STARTED"), &json!("made\r\nhere\r\n")));
+    assert_eq!(
+        (&answer["verb"], &answer["blob"]),
+        (&json!("STARTED"), &json!("made\r\nhere\r\n"))
+    );
     server.send(conn, &note(tag(1), "link_use", 0.5));
     server.send(conn, b"TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: 0000000000000001\r\nReason: cause=16\r\nX-State: x0:0.4\r\nContent-Length: 0\r\n\r\n");
     let end = viewer.line();
@@ -48,7 +61,11 @@
     server.send(conn, &stands(tag(1), "too late"));
     let (_, release) = server.said("TEARDOWN");
     assert_eq!((release.session, release.cause()), (Some(tag(1)), Some(31)));
-    assert_eq!(viewer.echo()["verb"], "ECHOED", "no answer follows one that was given up");
+    assert_eq!(
+        viewer.echo()["verb"],
+        "ECHOED",
+        "no answer follows one that was given up"
+    );
     rig.idle();
 }
 
@@ -64,7 +81,9 @@
     let (_, given_up) = server.said("TEARDOWN");
     assert_eq!((given_up.session, given_up.cause()), (Some(tag(1)), None));
     assert_eq!(second.echo()["verb"], "ECHOED");
-    wait("the other session stands", || rig.node.counts().playing == 1 && rig.node.counts().waiting == 0);
+    wait("the other session stands", || {
+        rig.node.counts().playing == 1 && rig.node.counts().waiting == 0
+    });
 }
 
 #[test]
@@ -111,7 +130,11 @@
             );
         }
         let (end, answer) = (if cause == 16 { 16 } else { 41 }, viewer.line());
-        assert_eq!((&answer["verb"], &answer["rc"]), (&json!("FINISH"), &json!(end)), "cause {cause}");
+        assert_eq!(
+            (&answer["verb"], &answer["rc"]),
+            (&json!("FINISH"), &json!(end)),
+            "cause {cause}"
+        );
         assert_eq!(viewer.echo()["verb"], "ECHOED", "one answer");
     }
     rig.idle();
@@ -128,7 +151,11 @@
     wait("the session is over", || rig.node.counts().playing == 0);
     let mut next = rig.viewer();
     let first = next.echo();
-    let end = if first["verb"] == "ECHOED" { next.line() } else { first };
+    let end = if first["verb"] == "ECHOED" {
+        next.line()
+    } else {
+        first
+    };
     assert_eq!(
         (&end["verb"], &end["tag"], &end["rc"]),
         (&json!("FINISH"), &json!(tag(1).as_str()), &json!(41))
@@ -144,15 +171,26 @@
     viewer.say(&at(1));
     viewer.say(&set_up(tag(3), PAID, "-1", ";at:s-ffffffff"));
     assert_eq!(viewer.echo()["verb"], "ECHOED", "no answer is owed");
-    assert_eq!(rig.node.counts().playing, 1, "a second time and an unknown server add nothing");
+    assert_eq!(
+        rig.node.counts().playing,
+        1,
+        "a second time and an unknown server add nothing"
+    );
     let (server, conn) = rig.session(&mut viewer, tag(2), FREE);
     viewer.say(&at(2));
     assert_eq!(viewer.echo()["verb"], "ECHOED");
-    assert_eq!(rig.node.counts().playing, 2, "one that is held already stays one");
+    assert_eq!(
+        rig.node.counts().playing,
+        2,
+        "one that is held already stays one"
+    );
     server.send(conn, &note(tag(1), "at_rung", 1.0));
     server.send(conn, &crankpaddle_node_protocol::rtsp::release(tag(1), 16));
     let end = viewer.line();
-    assert_eq!((&end["verb"], &end["tag"]), (&json!("FINISH"), &json!(tag(1).as_str())));
+    assert_eq!(
+        (&end["verb"], &end["tag"]),
+        (&json!("FINISH"), &json!(tag(1).as_str()))
+    );
 }
 
 #[test]
@@ -183,8 +221,15 @@
     let (server, conn, _) = rig.set_up();
     server.send(conn, &response(453, 1, tag(1), "X-State: x0:1.4\r\n", ""));
     let end = viewer.line();
-    assert_eq!((&end["verb"], &end["rc"]), (&json!("FINISH"), &json!(34)), "full proves that nothing ran");
-    let wait: u64 = end["opts"]["wait"].as_str().and_then(|w| w.parse().ok()).expect("advice");
+    assert_eq!(
+        (&end["verb"], &end["rc"]),
+        (&json!("FINISH"), &json!(34)),
+        "full proves that nothing ran"
+    );
+    let wait: u64 = end["opts"]["wait"]
+        .as_str()
+        .and_then(|w| w.parse().ok())
+        .expect("advice");
     assert!((1..=1000).contains(&wait), "{wait}");
     rig.idle();
 }
@@ -192,7 +237,13 @@
 #[test]
 fn each_outcome_keeps_its_meaning_for_a_paid_session() {
     // Whether the answer to the first attempt proves that nothing ran, and so the second server is asked.
-    for (status, again) in [(500, false), (453, true), (454, true), (504, false), (404, false)] {
+    for (status, again) in [
+        (500, false),
+        (453, true),
+        (454, true),
+        (504, false),
+        (404, false),
+    ] {
         let rig = Rig::start(2);
         let mut viewer = rig.viewer();
         viewer.start(tag(1), PAID, 15_000);
@@ -206,7 +257,11 @@
             assert_eq!(viewer.line()["verb"], "STARTED", "{status}");
         } else {
             let end = viewer.line();
-            assert_eq!((&end["verb"], &end["rc"]), (&json!("FINISH"), &json!(41)), "{status}");
+            assert_eq!(
+                (&end["verb"], &end["rc"]),
+                (&json!("FINISH"), &json!(41)),
+                "{status}"
+            );
             assert!(end["opts"].get("wait").is_none());
         }
     }
@@ -253,7 +308,10 @@
     let (server, _, _) = rig.set_up();
     let end = viewer.line();
     assert_eq!((&end["verb"], &end["rc"]), (&json!("FINISH"), &json!(41)));
-    assert!(before.elapsed().as_millis() >= 350, "no earlier than its time");
+    assert!(
+        before.elapsed().as_millis() >= 350,
+        "no earlier than its time"
+    );
     let (_, given_up) = server.said("TEARDOWN");
     assert_eq!((given_up.session, given_up.cause()), (Some(tag(1)), None));
 }
@@ -272,7 +330,11 @@
         late.line()["rc"] == 42
     });
     server.send(waiting, &stands(tag(2), "x"));
-    assert_eq!(viewer.line()["verb"], "STARTED", "what was taken is answered");
+    assert_eq!(
+        viewer.line()["verb"],
+        "STARTED",
+        "what was taken is answered"
+    );
     for n in [1, 2] {
         server.send(conn, &crankpaddle_node_protocol::rtsp::release(tag(n), 16));
         assert_eq!(viewer.line()["verb"], "FINISH");
--- a/crates/recovery/src/intents.rs
+++ b/crates/recovery/src/intents.rs
@@ -66,7 +66,12 @@
     /// What it keeps.
     pub fn thing(&self) -> Thing {
         match self {
-            Write::Keep(_, Intent { fate: Fate::Out, .. }) => Thing::Intent,
+            Write::Keep(
+                _,
+                Intent {
+                    fate: Fate::Out, ..
+                },
+            ) => Thing::Intent,
             Write::Keep(..) | Write::Forget(_) => Thing::Fate,
             Write::Fleet(_) => Thing::FleetSize,
             Write::Ran(_) | Write::InOrder => Thing::Epoch,
@@ -98,8 +103,13 @@
 impl Ledger {
     /// Ended keys are kept for `keep` milliseconds of running time, and `most` of them at most.
     pub fn new(keep: u64, most: usize, past: &[(Key, Intent)]) -> Ledger {
-        let mut ledger = Ledger { keep, most, ..Ledger::default() };
-        past.iter().for_each(|(key, intent)| ledger.put(key.clone(), intent.clone()));
+        let mut ledger = Ledger {
+            keep,
+            most,
+            ..Ledger::default()
+        };
+        past.iter()
+            .for_each(|(key, intent)| ledger.put(key.clone(), intent.clone()));
         ledger
     }
 
@@ -138,8 +148,22 @@
     }
 
     /// An attempt is about to leave. It must not before this was written to the end.
-    pub fn intend(&mut self, key: Key, class: String, server: u32, name: String, boot: String) -> Write {
-        let intent = Intent { class, server, name, boot, fate: Fate::Out, until: u64::MAX };
+    pub fn intend(
+        &mut self,
+        key: Key,
+        class: String,
+        server: u32,
+        name: String,
+        boot: String,
+    ) -> Write {
+        let intent = Intent {
+            class,
+            server,
+            name,
+            boot,
+            fate: Fate::Out,
+            until: u64::MAX,
+        };
         self.put(key.clone(), intent.clone());
         Write::Keep(key, intent)
     }
@@ -153,7 +177,14 @@
                 return Some(Write::Forget(key));
             }
             Came::Plays => Fate::Plays,
-            Came::Gone if self.entries.get(&key).is_some_and(|i| i.fate == Fate::Plays) => Fate::Spent,
+            Came::Gone
+                if self
+                    .entries
+                    .get(&key)
+                    .is_some_and(|i| i.fate == Fate::Plays) =>
+            {
+                Fate::Spent
+            }
             Came::Gone => Fate::Failed,
         };
         self.becomes(&key, fate, ran)
@@ -169,7 +200,11 @@
             Fate::Out | Fate::Plays => u64::MAX,
             Fate::Spent | Fate::Failed => ran.saturating_add(self.keep),
         };
-        let intent = Intent { fate, until, ..before.clone() };
+        let intent = Intent {
+            fate,
+            until,
+            ..before.clone()
+        };
         self.put(key.clone(), intent.clone());
         Some(Write::Keep(key.clone(), intent))
     }
@@ -189,7 +224,9 @@
     pub fn prune(&mut self, ran: u64, most_now: usize) -> Vec<Write> {
         let mut out = Vec::new();
         while out.len() < most_now {
-            let Some((until, key)) = self.ended.keys().next().cloned() else { break };
+            let Some((until, key)) = self.ended.keys().next().cloned() else {
+                break;
+            };
             if until > ran && self.ended.len() <= self.most {
                 break;
             }
@@ -205,7 +242,10 @@
     use super::*;
 
     fn key(n: u32) -> Key {
-        Key { tenant: String::new(), bill: format!("b{n}") }
+        Key {
+            tenant: String::new(),
+            bill: format!("b{n}"),
+        }
     }
 
     fn out(ledger: &mut Ledger, n: u32) -> Write {
@@ -216,11 +256,17 @@
     fn an_attempt_that_never_ran_leaves_nothing_and_one_that_may_have_stays() {
         let mut ledger = Ledger::new(1000, 10, &[]);
         assert_eq!(out(&mut ledger, 1).thing(), Thing::Intent);
-        assert_eq!(ledger.came_out("name-1", Came::NeverRan, 0), Some(Write::Forget(key(1))));
+        assert_eq!(
+            ledger.came_out("name-1", Came::NeverRan, 0),
+            Some(Write::Forget(key(1)))
+        );
         assert!(ledger.is_empty());
         out(&mut ledger, 2);
         ledger.came_out("name-2", Came::Gone, 50);
-        assert_eq!(ledger.get(&key(2)).map(|i| (i.fate, i.until)), Some((Fate::Failed, 1050)));
+        assert_eq!(
+            ledger.get(&key(2)).map(|i| (i.fate, i.until)),
+            Some((Fate::Failed, 1050))
+        );
         assert_eq!(
             ledger.came_out("name-2", Came::NeverRan, 60),
             None,
@@ -239,7 +285,11 @@
             ledger.came_out(&format!("name-{n}"), Came::Gone, u64::from(n));
         }
         assert_eq!(ledger.prune(5, 1), [Write::Forget(key(2))], "one at a time");
-        assert_eq!(ledger.prune(5, 100), [Write::Forget(key(3))], "two are kept");
+        assert_eq!(
+            ledger.prune(5, 100),
+            [Write::Forget(key(3))],
+            "two are kept"
+        );
         assert_eq!(ledger.prune(1004, 100), [Write::Forget(key(4))]);
         assert_eq!(ledger.prune(u64::MAX - 1, 100), [Write::Forget(key(5))]);
         assert_eq!(ledger.len(), 2, "two are out");
@@ -248,11 +298,18 @@
     #[test]
     fn nothing_worthless_is_ever_written() {
         let mut ledger = Ledger::new(1, 1, &[]);
-        let mut writes = vec![out(&mut ledger, 1), Write::Fleet(3), Write::Ran(1), Write::InOrder];
+        let mut writes = vec![
+            out(&mut ledger, 1),
+            Write::Fleet(3),
+            Write::Ran(1),
+            Write::InOrder,
+        ];
         writes.extend(ledger.came_out("name-1", Came::Gone, 0));
         writes.extend(ledger.prune(u64::MAX, 9));
         assert_eq!(writes.len(), 6);
-        assert!(writes.iter().all(|w| w.thing().after() != crate::After::Worthless));
+        assert!(writes
+            .iter()
+            .all(|w| w.thing().after() != crate::After::Worthless));
     }
 
     #[test]
@@ -261,10 +318,19 @@
         let writes = [out(&mut first, 1), out(&mut first, 2)];
         let kept: Vec<(Key, Intent)> = writes
             .into_iter()
-            .filter_map(|w| if let Write::Keep(key, intent) = w { Some((key, intent)) } else { None })
+            .filter_map(|w| {
+                if let Write::Keep(key, intent) = w {
+                    Some((key, intent))
+                } else {
+                    None
+                }
+            })
             .collect();
         let mut second = Ledger::new(1000, 10, &kept);
-        assert_eq!(second.came_out("name-2", Came::Plays, 0).map(|w| w.thing()), Some(Thing::Fate));
+        assert_eq!(
+            second.came_out("name-2", Came::Plays, 0).map(|w| w.thing()),
+            Some(Thing::Fate)
+        );
         assert_eq!(second.get(&key(1)).map(|i| i.fate), Some(Fate::Out));
     }
 }
--- a/crates/recovery/src/settle.rs
+++ b/crates/recovery/src/settle.rs
@@ -87,13 +87,28 @@
 impl Settling {
     /// Of what was kept.
     pub fn new(past: &[(Key, Intent)]) -> Settling {
-        let left = past.iter().filter(|(_, i)| matches!(i.fate, Fate::Out | Fate::Plays));
+        let left = past
+            .iter()
+            .filter(|(_, i)| matches!(i.fate, Fate::Out | Fate::Plays));
         let open = left.map(|(key, i)| {
             let (key, server, boot) = (key.clone(), i.server, i.boot.clone());
             let plays = i.fate == Fate::Plays;
-            (i.name.clone(), Open { key, server, boot, plays, fenced: false, given_up: false })
+            (
+                i.name.clone(),
+                Open {
+                    key,
+                    server,
+                    boot,
+                    plays,
+                    fenced: false,
+                    given_up: false,
+                },
+            )
         });
-        Settling { open: open.collect(), ..Settling::default() }
+        Settling {
+            open: open.collect(),
+            ..Settling::default()
+        }
     }
 
     /// Attempts of former lives of which nobody has told what became.
@@ -104,7 +119,11 @@
     /// Servers that told, that are out of reach, and that are being asked.
     pub fn counts(&self) -> (usize, usize, usize) {
         let count = |of| self.servers.values().filter(|a| **a == of).count();
-        (count(Asked::Told), count(Asked::OutOfReach), count(Asked::UnderWay))
+        (
+            count(Asked::Told),
+            count(Asked::OutOfReach),
+            count(Asked::UnderWay),
+        )
     }
 
     /// Whether each server that is listed told all it was asked, or can't be reached.
@@ -127,14 +146,21 @@
     /// A server can't be reached, or does not tell.
     pub fn silent(&mut self, server: u32) {
         self.fencing.remove(&server);
-        if let Some(asked) = self.servers.get_mut(&server).filter(|a| **a == Asked::UnderWay) {
+        if let Some(asked) = self
+            .servers
+            .get_mut(&server)
+            .filter(|a| **a == Asked::UnderWay)
+        {
             *asked = Asked::OutOfReach;
         }
     }
 
     /// A server that was out of reach is there: it is asked after all.
     pub fn back(&mut self, server: u32) -> Option<Step> {
-        let asked = self.servers.get_mut(&server).filter(|a| **a == Asked::OutOfReach)?;
+        let asked = self
+            .servers
+            .get_mut(&server)
+            .filter(|a| **a == Asked::OutOfReach)?;
         *asked = Asked::UnderWay;
         Some(Step::Ask(server))
     }
@@ -184,12 +210,20 @@
         }
         // Danger: a disk that was lost does not know of a set-up that a server still works on; it would run after this look, and its key
         // be sold again. It is ended, or has run by the next look.
-        for name in book.under_way.iter().filter(|name| !own(name) && !self.open.contains_key(*name)) {
+        for name in book
+            .under_way
+            .iter()
+            .filter(|name| !own(name) && !self.open.contains_key(*name))
+        {
             self.fencing.entry(server).or_default().insert(name.clone());
             steps.push(Step::Fence(server, name.clone()));
         }
-        let names: Vec<String> =
-            self.open.iter().filter(|(_, o)| o.server == server).map(|(n, _)| n.clone()).collect();
+        let names: Vec<String> = self
+            .open
+            .iter()
+            .filter(|(_, o)| o.server == server)
+            .map(|(n, _)| n.clone())
+            .collect();
         for name in names {
             let open = &self.open[&name];
             let known = !open.boot.is_empty() && book.boots.contains(&open.boot);
@@ -210,7 +244,11 @@
         }
         // Danger: the disk may have lost its last words, or all. What a server ran is not set up again, whatever was kept.
         let waits = |key: &Key| self.open.values().any(|o| o.key == *key);
-        let unheard = book.ran.iter().filter(|key| !told.contains(*key) && !waits(key)).cloned();
+        let unheard = book
+            .ran
+            .iter()
+            .filter(|key| !told.contains(*key) && !waits(key))
+            .cloned();
         verdicts.extend(unheard.map(Verdict::Spent));
         if steps.is_empty() {
             self.servers.insert(server, Asked::Told);
@@ -224,16 +262,33 @@
     use super::*;
 
     fn key(n: u32) -> Key {
-        Key { tenant: String::new(), bill: format!("b{n}") }
+        Key {
+            tenant: String::new(),
+            bill: format!("b{n}"),
+        }
     }
 
     fn left(n: u32, server: u32, fate: Fate) -> (Key, Intent) {
         let (class, name, boot) = ("paid".to_owned(), format!("n{n}"), "4".to_owned());
-        (key(n), Intent { class, server, name, boot, fate, until: u64::MAX })
+        (
+            key(n),
+            Intent {
+                class,
+                server,
+                name,
+                boot,
+                fate,
+                until: u64::MAX,
+            },
+        )
     }
 
     fn book(boots: &[&str], held: &[u32], ran: &[u32]) -> Book {
-        let held = held.iter().map(|n| Held { name: format!("n{n}"), key: key(*n), ..Held::default() });
+        let held = held.iter().map(|n| Held {
+            name: format!("n{n}"),
+            key: key(*n),
+            ..Held::default()
+        });
         Book {
             boots: boots.iter().map(|b| (*b).to_owned()).collect(),
             held: held.collect(),
@@ -251,7 +306,10 @@
         let mut s = Settling::new(&[left(1, 7, Fate::Out)]);
         assert_eq!(s.listed([7]), [Step::Ask(7)]);
         let empty = book(&["4"], &[], &[]);
-        assert_eq!(s.told(7, &empty, none), (vec![], vec![Step::Fence(7, "n1".into())]));
+        assert_eq!(
+            s.told(7, &empty, none),
+            (vec![], vec![Step::Fence(7, "n1".into())])
+        );
         assert!(!s.settled());
         assert_eq!(s.fenced(7, "n1"), Some(Step::Ask(7)));
         assert_eq!(s.told(7, &empty, none).0, [Verdict::Never(key(1))]);
@@ -264,7 +322,10 @@
         s.listed([7]);
         s.told(7, &book(&["4"], &[], &[]), none);
         s.fenced(7, "n1");
-        assert_eq!(s.told(7, &book(&["4"], &[], &[1]), none).0, [Verdict::Failed(key(1))]);
+        assert_eq!(
+            s.told(7, &book(&["4"], &[], &[1]), none).0,
+            [Verdict::Failed(key(1))]
+        );
     }
 
     #[test]
@@ -272,23 +333,41 @@
         for boots in [&["5"][..], &[]] {
             let mut s = Settling::new(&[left(1, 7, Fate::Out)]);
             s.listed([7]);
-            assert_eq!(s.told(7, &book(boots, &[], &[]), none).0, [Verdict::Failed(key(1))]);
+            assert_eq!(
+                s.told(7, &book(boots, &[], &[]), none).0,
+                [Verdict::Failed(key(1))]
+            );
         }
         let mut s = Settling::new(&[left(1, 7, Fate::Out)]);
         assert!(
-            matches!(s.told(7, &book(&["4", "5"], &[], &[]), none).1[..], [Step::Fence(..)]),
+            matches!(
+                s.told(7, &book(&["4", "5"], &[], &[]), none).1[..],
+                [Step::Fence(..)]
+            ),
             "it reaches over both"
         );
     }
 
     #[test]
     fn what_is_held_is_taken_up_and_what_is_over_is_spent() {
-        let mut s = Settling::new(&[left(1, 7, Fate::Out), left(2, 7, Fate::Plays), left(3, 8, Fate::Plays)]);
+        let mut s = Settling::new(&[
+            left(1, 7, Fate::Out),
+            left(2, 7, Fate::Plays),
+            left(3, 8, Fate::Plays),
+        ]);
         s.listed([7, 8]);
         let (verdicts, _) = s.told(7, &book(&["4"], &[1, 9], &[1]), none);
-        let adopted =
-            |v: &Verdict| if let Verdict::Adopt(7, held) = v { Some(held.name.clone()) } else { None };
-        assert_eq!(verdicts.iter().filter_map(adopted).collect::<Vec<_>>(), ["n1", "n9"]);
+        let adopted = |v: &Verdict| {
+            if let Verdict::Adopt(7, held) = v {
+                Some(held.name.clone())
+            } else {
+                None
+            }
+        };
+        assert_eq!(
+            verdicts.iter().filter_map(adopted).collect::<Vec<_>>(),
+            ["n1", "n9"]
+        );
         assert!(verdicts.contains(&Verdict::Spent(key(2))) && verdicts.len() == 3);
         assert_eq!(s.open(), 1, "the one at the other server");
     }
@@ -296,7 +375,10 @@
     #[test]
     fn sessions_of_this_life_are_left_alone() {
         let mut s = Settling::new(&[]);
-        assert_eq!(s.told(7, &book(&["4"], &[1], &[]), |name| name == "n1").0, []);
+        assert_eq!(
+            s.told(7, &book(&["4"], &[1], &[]), |name| name == "n1").0,
+            []
+        );
     }
 
     #[test]
@@ -313,11 +395,21 @@
     fn a_set_up_under_way_that_nobody_remembers_is_ended_before_anything_is_served() {
         let mut s = Settling::new(&[]);
         s.listed([7]);
-        let works = Book { under_way: vec!["n5".into()], ..book(&["4"], &[], &[]) };
-        assert_eq!(s.told(7, &works, none), (vec![], vec![Step::Fence(7, "n5".into())]));
+        let works = Book {
+            under_way: vec!["n5".into()],
+            ..book(&["4"], &[], &[])
+        };
+        assert_eq!(
+            s.told(7, &works, none),
+            (vec![], vec![Step::Fence(7, "n5".into())])
+        );
         assert!(!s.settled());
         assert_eq!(s.fenced(7, "n5"), Some(Step::Ask(7)));
-        assert_eq!(s.told(7, &book(&["4"], &[], &[5]), none).0, [Verdict::Spent(key(5))], "it ran meanwhile");
+        assert_eq!(
+            s.told(7, &book(&["4"], &[], &[5]), none).0,
+            [Verdict::Spent(key(5))],
+            "it ran meanwhile"
+        );
         assert!(s.settled());
     }
 
@@ -331,9 +423,15 @@
         assert!(s.settled() && s.counts() == (1, 1, 0));
         assert_eq!(s.give_up(), [key(1)]);
         assert_eq!(s.give_up(), [], "said once");
-        assert_eq!((s.back(7), s.back(7), s.back(8)), (Some(Step::Ask(7)), None, None));
+        assert_eq!(
+            (s.back(7), s.back(7), s.back(8)),
+            (Some(Step::Ask(7)), None, None)
+        );
         // Its viewer was told that it failed, so nobody comes for it.
-        assert_eq!(s.told(7, &book(&["4"], &[1], &[1]), none).0, [Verdict::Drop(7, "n1".into())]);
+        assert_eq!(
+            s.told(7, &book(&["4"], &[1], &[1]), none).0,
+            [Verdict::Drop(7, "n1".into())]
+        );
     }
 
     #[test]
@@ -341,7 +439,11 @@
         // The first attempt never ran at 8, by its own word; the second is open at 7. What 8 ran under this key was before.
         let mut s = Settling::new(&[left(1, 7, Fate::Out)]);
         s.listed([7, 8]);
-        assert_eq!(s.told(8, &book(&["4"], &[], &[1]), none).0, [], "7 is still to tell");
+        assert_eq!(
+            s.told(8, &book(&["4"], &[], &[1]), none).0,
+            [],
+            "7 is still to tell"
+        );
         s.told(7, &book(&["4"], &[], &[]), none);
         s.fenced(7, "n1");
         let (verdicts, _) = s.told(7, &book(&["4"], &[], &[]), none);
--- a/crates/recovery/src/stages.rs
+++ b/crates/recovery/src/stages.rs
@@ -102,7 +102,12 @@
 
     /// A front without a store: there is no past to return from.
     pub fn none(now: u64) -> Returning {
-        let terms = Terms { settle: 0, calm: 0, paid_first: 0, warm: 0 };
+        let terms = Terms {
+            settle: 0,
+            calm: 0,
+            paid_first: 0,
+            warm: 0,
+        };
         let mut returning = Returning::new(terms, now);
         returning.go(now, Stage::Normal, Evidence::EndedInOrder);
         returning
@@ -163,14 +168,20 @@
     pub fn next(&self) -> Option<u64> {
         match self.stage {
             Stage::Settling => self.listed.map(|t| t.saturating_add(self.terms.settle)),
-            Stage::Paid => Some(self.calm_at().min(self.since.saturating_add(self.terms.paid_first))),
+            Stage::Paid => Some(
+                self.calm_at()
+                    .min(self.since.saturating_add(self.terms.paid_first)),
+            ),
             Stage::All => Some(self.since.saturating_add(self.terms.warm)),
             Stage::Dark | Stage::Reading | Stage::Normal => None,
         }
     }
 
     fn calm_at(&self) -> u64 {
-        self.turned_away.unwrap_or(0).max(self.since).saturating_add(self.terms.calm)
+        self.turned_away
+            .unwrap_or(0)
+            .max(self.since)
+            .saturating_add(self.terms.calm)
     }
 
     /// Takes the steps that are due.
@@ -199,11 +210,17 @@
         let left = |time: u64| self.since.saturating_add(time).saturating_sub(now);
         match self.stage {
             Stage::Dark | Stage::Reading => Verdict::Hold,
-            Stage::Settling if self.listed.is_some() || left(self.terms.settle) > 0 => Verdict::Hold,
-            Stage::Settling => Verdict::ComeBack { after: self.terms.settle, over: self.terms.settle },
-            Stage::Paid if !paid => {
-                Verdict::ComeBack { after: left(self.terms.paid_first), over: self.terms.warm }
+            Stage::Settling if self.listed.is_some() || left(self.terms.settle) > 0 => {
+                Verdict::Hold
             }
+            Stage::Settling => Verdict::ComeBack {
+                after: self.terms.settle,
+                over: self.terms.settle,
+            },
+            Stage::Paid if !paid => Verdict::ComeBack {
+                after: left(self.terms.paid_first),
+                over: self.terms.warm,
+            },
             Stage::Paid | Stage::All | Stage::Normal => Verdict::Serve,
         }
     }
@@ -214,7 +231,12 @@
     use super::*;
     use proptest::prelude::*;
 
-    const TERMS: Terms = Terms { settle: 100, calm: 20, paid_first: 300, warm: 1000 };
+    const TERMS: Terms = Terms {
+        settle: 100,
+        calm: 20,
+        paid_first: 300,
+        warm: 1000,
+    };
 
     fn at(stage: Stage) -> Returning {
         let mut r = Returning::new(TERMS, 0);
@@ -231,26 +253,48 @@
     fn a_life_that_ended_in_order_has_nothing_to_settle() {
         let mut r = Returning::new(TERMS, 0);
         r.read(1, Ended::InOrder);
-        assert_eq!((r.stage(), r.next(), r.admit(1, false)), (Stage::Normal, None, Verdict::Serve));
+        assert_eq!(
+            (r.stage(), r.next(), r.admit(1, false)),
+            (Stage::Normal, None, Verdict::Serve)
+        );
         assert_eq!(Returning::none(5).stage(), Stage::Normal);
     }
 
     #[test]
     fn all_wait_until_servers_told_and_then_paid_go_first() {
         let mut r = at(Stage::Settling);
-        assert_eq!((r.admit(3, true), r.admit(3, false)), (Verdict::Hold, Verdict::Hold));
+        assert_eq!(
+            (r.admit(3, true), r.admit(3, false)),
+            (Verdict::Hold, Verdict::Hold)
+        );
         r.settled(3);
-        assert_eq!(r.stage(), Stage::Settling, "nobody is listed yet: nobody told anything");
+        assert_eq!(
+            r.stage(),
+            Stage::Settling,
+            "nobody is listed yet: nobody told anything"
+        );
         r.listed(5);
         assert_eq!((r.stage(), r.admit(5, true)), (Stage::Paid, Verdict::Serve));
-        assert_eq!(r.admit(5, false), Verdict::ComeBack { after: 300, over: 1000 });
+        assert_eq!(
+            r.admit(5, false),
+            Verdict::ComeBack {
+                after: 300,
+                over: 1000
+            }
+        );
         r.turned_away(10, 7);
         r.expire(36);
         assert_eq!(r.stage(), Stage::Paid, "one may be back since 19");
         r.expire(37);
-        assert_eq!(r.steps().last(), Some(&(37, Stage::All, Evidence::PaidServed)));
+        assert_eq!(
+            r.steps().last(),
+            Some(&(37, Stage::All, Evidence::PaidServed))
+        );
         r.expire(1037);
-        assert_eq!(r.steps().last(), Some(&(1037, Stage::Normal, Evidence::Warm)));
+        assert_eq!(
+            r.steps().last(),
+            Some(&(1037, Stage::Normal, Evidence::Warm))
+        );
     }
 
     #[test]
--- a/crates/recovery/src/survives.rs
+++ b/crates/recovery/src/survives.rs
@@ -66,19 +66,25 @@
         match self {
             Thing::Intent | Thing::Fate | Thing::Epoch => After::Holds,
             Thing::FleetSize | Thing::Drain | Thing::List | Thing::ServerStart => After::Careful,
-            Thing::Load | Thing::Age | Thing::Turn | Thing::Session | Thing::Clock => After::Worthless,
+            Thing::Load | Thing::Age | Thing::Turn | Thing::Session | Thing::Clock => {
+                After::Worthless
+            }
         }
     }
 
     /// Why, and what is done with it.
     pub const fn why(self) -> &'static str {
         match self {
-            Thing::Intent => "it was on disk before its first byte left; its server is asked whether it ran",
+            Thing::Intent => {
+                "it was on disk before its first byte left; its server is asked whether it ran"
+            }
             Thing::Fate => "a paid key that ran has run for ever; it is not set up again",
             Thing::Epoch => "it only grows; a start is told from all former ones",
             Thing::FleetSize => "a smaller fleet is not believed until servers had time to warm",
             Thing::Drain => "what drained is left alone until a list says otherwise",
-            Thing::List => "servers are asked at the addresses last known; a live list goes before it",
+            Thing::List => {
+                "servers are asked at the addresses last known; a live list goes before it"
+            }
             Thing::ServerStart => "each server counts as cold until it tells its age itself",
             Thing::Load => "links have emptied or filled meanwhile; they are heard anew",
             Thing::Age => "nobody knows how long the power was away",
