--- a/crates/api/src/diff.rs
+++ b/crates/api/src/diff.rs
@@ -202,7 +202,7 @@
         for path in keys(before).union(&keys(after)) {
             match (before.get(path), after.get(path)) {
                 (Some(_), None) => {
-                    self.found(Sender::Client, path, Set::Narrower, "the path is gone")
+                    self.found(Sender::Client, path, Set::Narrower, "the path is gone");
                 }
                 (None, Some(_)) => self.found(Sender::Client, path, Set::Wider, "a new path"),
                 (Some(was), Some(is)) => {
@@ -227,7 +227,7 @@
             let place = format!("{at} {status}");
             match (before.get(status), after.get(status)) {
                 (Some(_), None) => {
-                    self.found(Sender::Server, &place, Set::Narrower, "the status is gone")
+                    self.found(Sender::Server, &place, Set::Narrower, "the status is gone");
                 }
                 (None, Some(_)) => self.found(Sender::Server, &place, Set::Wider, "a new status"),
                 (Some(was), Some(is)) => {
@@ -282,10 +282,10 @@
             let new: Vec<&Value> = is.iter().filter(|t| !was.contains(t)).collect();
             match (gone.is_empty(), new.is_empty()) {
                 (false, false) => {
-                    self.found(sender, at, Set::Other, format!("was {gone:?}, is {new:?}"))
+                    self.found(sender, at, Set::Other, format!("was {gone:?}, is {new:?}"));
                 }
                 (false, true) => {
-                    self.found(sender, at, Set::Narrower, format!("no {gone:?} any more"))
+                    self.found(sender, at, Set::Narrower, format!("no {gone:?} any more"));
                 }
                 (true, false) => self.found(sender, at, Set::Wider, format!("{new:?} too")),
                 (true, true) => {}
@@ -371,10 +371,10 @@
                 (Some(w), Some(i)) => {
                     match (required(before, name), required(after, name)) {
                         (false, true) => {
-                            self.found(sender, &place, Set::Narrower, "must be there now")
+                            self.found(sender, &place, Set::Narrower, "must be there now");
                         }
                         (true, false) => {
-                            self.found(sender, &place, Set::Wider, "may be missing now")
+                            self.found(sender, &place, Set::Wider, "may be missing now");
                         }
                         _ => {}
                     }
--- a/crates/cli/src/api.rs
+++ b/crates/cli/src/api.rs
@@ -11,7 +11,7 @@
 
 /// The commands on the API's descriptions.
 #[derive(Subcommand)]
-pub enum Api {
+pub(crate) enum Api {
     /// Write the descriptions of this program: AsyncAPI of both versions, OpenAPI, and a page to read offline.
     Describe {
         /// The folder.
@@ -72,7 +72,7 @@
 }
 
 /// Runs a command.
-pub fn run(api: Api) -> Result<ExitCode, Failure> {
+pub(crate) fn run(api: Api) -> Result<ExitCode, Failure> {
     match api {
         Api::Describe { into } => {
             fs::create_dir_all(&into).map_err(|e| bad(&into, e))?;
--- a/crates/cli/src/front.rs
+++ b/crates/cli/src/front.rs
@@ -13,14 +13,14 @@
     let taken = crankpaddle_config::load(path).map_err(|e| e.to_string());
     match taken.and_then(|config| daemon.change_budgets(config)) {
         Ok(()) => {
-            tracing::info!(path = %path.display(), "reloaded: budgets; all else waits for a restart")
+            tracing::info!(path = %path.display(), "reloaded: budgets; all else waits for a restart");
         }
         Err(what) => tracing::error!(path = %path.display(), what, "not reloaded"),
     }
 }
 
 /// Runs until it is told to end.
-pub fn run(config: Config, path: PathBuf) -> Result<ExitCode, Failure> {
+pub(crate) fn run(config: Config, path: PathBuf) -> Result<ExitCode, Failure> {
     let _logs = logs::start(&config.log_level, config.log_json);
     let signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     crankpaddle_net::start(config.workers);
--- a/crates/cli/src/lab/fleet.rs
+++ b/crates/cli/src/lab/fleet.rs
@@ -10,7 +10,7 @@
 
 /// How a case of a fleet is played.
 #[derive(Args)]
-pub struct FleetArgs {
+pub(crate) struct FleetArgs {
     /// A built-in name or a script's file.
     #[arg(required_unless_present = "list")]
     name: Option<String>,
@@ -54,7 +54,7 @@
 
 /// What fronts keep over a power loss.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
-pub enum Keeps {
+pub(super) enum Keeps {
     /// What they began, settled with the servers; service returns in order.
     Kept,
     /// Nothing; the list is believed as it is told.
--- a/crates/cli/src/lab/mod.rs
+++ b/crates/cli/src/lab/mod.rs
@@ -24,7 +24,7 @@
 
 /// The laboratory's commands.
 #[derive(Subcommand)]
-pub enum Lab {
+pub(crate) enum Lab {
     /// Play a scripted day against front processes and judge it by what was on the sockets; exits 1 if a rule broke,
     /// or an answer is missing or doubled.
     #[command(
@@ -144,7 +144,7 @@
 
 /// How a day is played.
 #[derive(Args)]
-pub struct DayArgs {
+pub(crate) struct DayArgs {
     /// A built-in name or a script's file.
     day: String,
     /// For all that is drawn; without it one is drawn and printed.
@@ -171,7 +171,7 @@
 }
 
 /// Runs a command.
-pub fn run(lab: Lab) -> Result<ExitCode, Failure> {
+pub(crate) fn run(lab: Lab) -> Result<ExitCode, Failure> {
     match lab {
         Lab::Day(args) => play(&args),
         Lab::Fleet(args) => fleet::run(&args),
--- a/crates/cli/src/logs.rs
+++ b/crates/cli/src/logs.rs
@@ -10,12 +10,12 @@
 
 /// Starts the logs; they are written until the guard is dropped. Nothing that a player keeps secret is ever logged:
 /// keys, and so sessions, appear by number only.
-pub fn start(level: &str, json: bool) -> WorkerGuard {
+pub(crate) fn start(level: &str, json: bool) -> WorkerGuard {
     start_bounded(level, json, WAITING)
 }
 
 /// The same with another bound on the lines that wait.
-pub fn start_bounded(level: &str, json: bool, waiting: usize) -> WorkerGuard {
+pub(crate) fn start_bounded(level: &str, json: bool, waiting: usize) -> WorkerGuard {
     // The writer flushes when no line waits: under load many lines go out with one call of the kernel.
     let out = BufWriter::with_capacity(BUFFER, std::io::stderr());
     let (writer, guard) = NonBlockingBuilder::default()
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The program: `crankpaddle front`, `crankpaddle node`, `crankpaddle check`, `crankpaddle api`, `crankpaddle traffic`,
 //! `crankpaddle lab`.
+#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 mod api;
 mod front;
@@ -93,7 +94,7 @@
         Command::Check { file, print } => {
             let show = |text: String| {
                 if print {
-                    println!("{text}")
+                    println!("{text}");
                 }
             };
             crankpaddle_config::filled(&file)
--- a/crates/cli/src/members.rs
+++ b/crates/cli/src/members.rs
@@ -45,7 +45,7 @@
 }
 
 /// Prints what a front knows of the others.
-pub fn run(front: &SocketAddr, json: bool) -> Result<ExitCode, Failure> {
+pub(crate) fn run(front: &SocketAddr, json: bool) -> Result<ExitCode, Failure> {
     let of_front = |what: String| Failure {
         what: format!("{front}: {what}"),
         status: 1,
--- a/crates/cli/src/node.rs
+++ b/crates/cli/src/node.rs
@@ -29,7 +29,7 @@
 }
 
 /// Runs until it is told to end and nothing is owed any more.
-pub fn run(config: Option<PathBuf>) -> Result<ExitCode, Failure> {
+pub(crate) fn run(config: Option<PathBuf>) -> Result<ExitCode, Failure> {
     // First of all: a signal that comes during the start must find its handler.
     let signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     let bad = |what: String| Failure {
--- a/crates/cli/src/running.rs
+++ b/crates/cli/src/running.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 /// Calls `reload` at each SIGHUP and `end` at each other signal, on a thread of its own.
-pub fn follow(
+pub(crate) fn follow(
     mut signals: Signals,
     reload: impl Fn() + Send + 'static,
     end: impl Fn() + Send + 'static,
@@ -22,7 +22,7 @@
 }
 
 /// Says where it listens.
-pub fn announce(address: SocketAddr) {
+pub(crate) fn announce(address: SocketAddr) {
     let mut out = std::io::stdout().lock();
     // Whoever started it may not listen.
     let _ = writeln!(out, "listening {address}").and_then(|()| out.flush());
--- a/crates/cli/src/traffic.rs
+++ b/crates/cli/src/traffic.rs
@@ -14,7 +14,7 @@
 
 /// The commands on traffic between halls.
 #[derive(Subcommand)]
-pub enum Traffic {
+pub(crate) enum Traffic {
     /// What crossed, by zones, class, tenant and hour; budgets against their use; overdrafts with their cause.
     #[command(
         after_help = "A front that is named by its address and by its file counts once: its latest word.\n\nExamples:\n  \
@@ -51,7 +51,7 @@
 
 /// Whose reports are put together.
 #[derive(Args)]
-pub struct Sources {
+pub(crate) struct Sources {
     /// Fronts that run.
     #[arg(value_name = "ADDRESS", required_unless_present = "file")]
     fronts: Vec<SocketAddr>,
@@ -62,7 +62,7 @@
 
 /// How a report is shown.
 #[derive(Clone, Copy, ValueEnum)]
-pub enum Form {
+pub(crate) enum Form {
     /// Columns to read.
     Table,
     /// RFC 4180, a line for each flow and hour.
@@ -94,7 +94,7 @@
 }
 
 /// Runs a command.
-pub fn run(traffic: Traffic) -> Result<ExitCode, Failure> {
+pub(crate) fn run(traffic: Traffic) -> Result<ExitCode, Failure> {
     match traffic {
         Traffic::Report { sources, form } => {
             let (report, missing) = collect(&sources);
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -1,5 +1,6 @@
 //! Several processes of the program that know each other: killed, stopped, ended and started anew. Judged by a member of the
 //! fleet that the test plays itself, over a socket.
+#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 use crankpaddle_membership::{Change, Output, Peers, Settings, State};
 use procfs::process::{FDTarget, Process};
 use rustix::process::{kill_process, Pid, Signal};
@@ -49,7 +50,7 @@
         std::thread::spawn(move || {
             err.lines()
                 .map_while(Result::ok)
-                .for_each(|line| drop(tell.send(line)))
+                .for_each(|line| drop(tell.send(line)));
         });
         let address = line.trim().trim_start_matches("listening ").to_owned();
         let front = Front {
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -1,4 +1,5 @@
 //! The front node as its platform starts it: configuration, signals, exit.
+#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 use procfs::net::TcpState;
 use procfs::process::{FDTarget, Process};
 use rustix::process::{kill_process, Pid, Signal};
@@ -74,7 +75,7 @@
         std::thread::spawn(move || {
             err.lines()
                 .map_while(Result::ok)
-                .for_each(|line| drop(tell.send(line)))
+                .for_each(|line| drop(tell.send(line)));
         });
         Node {
             child,
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -1,4 +1,5 @@
 //! The program as its users start it: checks, signals, and a whole day with front processes.
+#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 use rustix::process::{kill_process, Pid, Signal};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`parse`] reads a text into a [`Config`] in the terms of the core, or says everything that is wrong, each with
 //! line, column and what is allowed. The schema is `proto/config.proto`; what a file may leave out stands in
 //! `proto/defaults.textproto`, and nowhere else.
+#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 mod check;
@@ -17,7 +18,7 @@
 
 pub use crankpaddle_textproto::Problem;
 
-#[allow(missing_docs)] // The schema's own comments tell.
+#[allow(missing_docs, unreachable_pub)] // Generated; the schema has comments of its own.
 mod schema {
     include!(concat!(env!("OUT_DIR"), "/crankpaddle.v1.rs"));
 }
--- a/crates/config/tests/check.rs
+++ b/crates/config/tests/check.rs
@@ -1,4 +1,5 @@
 //! What is wrong in a file is said with its place and with what is allowed, and all of it at once.
+#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 use crankpaddle_config::{parse, Problem};
 use proptest::prelude::*;
 
--- a/crates/daemon/src/attempts.rs
+++ b/crates/daemon/src/attempts.rs
@@ -24,7 +24,7 @@
 
 impl Out {
     /// Nothing more is waited for; what was not written yet never will be.
-    pub fn abandon(&self) {
+    pub(crate) fn abandon(&self) {
         let before = std::mem::replace(
             &mut *self.0.lock().unwrap_or_else(PoisonError::into_inner),
             State::Over,
--- a/crates/daemon/src/contact.rs
+++ b/crates/daemon/src/contact.rs
@@ -19,36 +19,36 @@
 }
 
 impl Contact {
-    pub fn started(&mut self, attempt: AttemptId, name: String, now: u64) {
+    pub(crate) fn started(&mut self, attempt: AttemptId, name: String, now: u64) {
         self.playing.insert(attempt, (name, now));
     }
 
-    pub fn ended(&mut self, attempt: AttemptId) {
+    pub(crate) fn ended(&mut self, attempt: AttemptId) {
         self.playing.remove(&attempt);
     }
 
-    pub fn plays(&self, attempt: AttemptId) -> bool {
+    pub(crate) fn plays(&self, attempt: AttemptId) -> bool {
         self.playing.contains_key(&attempt)
     }
 
     /// The life of the server that is known, if one is.
-    pub fn boot(&self) -> Option<&str> {
+    pub(crate) fn boot(&self) -> Option<&str> {
         self.boot.as_deref()
     }
 
     /// The server told its life before its stream did.
-    pub fn lives(&mut self, boot: &str) {
+    pub(crate) fn lives(&mut self, boot: &str) {
         self.boot.get_or_insert_with(|| boot.to_owned());
     }
 
     /// Whether a stream's first word tells of another life than the one that was known.
-    pub fn is_other_life(&self, boot: &str) -> bool {
+    pub(crate) fn is_other_life(&self, boot: &str) -> bool {
         self.boot.as_deref().is_some_and(|b| b != boot)
     }
 
     /// The stream's first word, to a call that began at `begun`: which sessions are lost. One that came to play while
     /// the call was under way may be missing in the word and is not.
-    pub fn hello(&mut self, boot: &str, held: &[String], begun: u64) -> Vec<AttemptId> {
+    pub(crate) fn hello(&mut self, boot: &str, held: &[String], begun: u64) -> Vec<AttemptId> {
         let other_life = self.is_other_life(boot);
         self.boot = Some(boot.to_owned());
         let held: std::collections::BTreeSet<&str> = held.iter().map(String::as_str).collect();
@@ -63,7 +63,7 @@
     }
 
     /// The server can't be reached since a call that began at `begun`: which sessions are lost.
-    pub fn lost(&self, begun: u64) -> Vec<AttemptId> {
+    pub(crate) fn lost(&self, begun: u64) -> Vec<AttemptId> {
         self.playing
             .iter()
             .filter(|(_, (_, since))| *since < begun)
@@ -93,7 +93,7 @@
 
 impl Reach {
     /// `silence`: without a word for so long, a server is lost.
-    pub fn new(now: u64, silence: u64) -> Reach {
+    pub(crate) fn new(now: u64, silence: u64) -> Reach {
         Reach {
             heard: now,
             silence,
@@ -101,12 +101,12 @@
         }
     }
 
-    pub fn heard(&mut self, now: u64) {
+    pub(crate) fn heard(&mut self, now: u64) {
         (self.heard, self.misses) = (now, 0);
     }
 
     /// A call failed: whether the server counts as lost, and how long to wait for the next call.
-    pub fn missed(&mut self, now: u64, miss: Miss) -> (bool, u64) {
+    pub(crate) fn missed(&mut self, now: u64, miss: Miss) -> (bool, u64) {
         let lost = match miss {
             Miss::Refused => true,
             Miss::Silent => now.saturating_sub(self.heard) >= self.silence,
--- a/crates/daemon/src/hub/effects.rs
+++ b/crates/daemon/src/hub/effects.rs
@@ -89,7 +89,7 @@
             }
             Answer::Closed => tracing::debug!(player = call.player.0, call = call.number, "closed"),
             other => {
-                tracing::info!(player = call.player.0, call = call.number, answer = ?other, "answered")
+                tracing::info!(player = call.player.0, call = call.number, answer = ?other, "answered");
             }
         }
         if let Some(player) = self.players.get(&call.player) {
--- a/crates/daemon/src/hub/mod.rs
+++ b/crates/daemon/src/hub/mod.rs
@@ -71,7 +71,7 @@
 }
 
 impl Hub {
-    pub fn new(
+    pub(crate) fn new(
         shared: Arc<Shared>,
         cached: Option<Held>,
         account: Option<&Report>,
@@ -120,7 +120,7 @@
     }
 
     /// Runs until the front has ended; gives the threads that still write to disk.
-    pub fn run(mut self, inbox: &Receiver<Msg>) -> Vec<JoinHandle<()>> {
+    pub(crate) fn run(mut self, inbox: &Receiver<Msg>) -> Vec<JoinHandle<()>> {
         let mut house = clock::now() + KEEP_HOUSE;
         while !self.over() {
             let now = clock::now();
--- a/crates/daemon/src/hub/paid.rs
+++ b/crates/daemon/src/hub/paid.rs
@@ -62,7 +62,7 @@
     }
 
     /// The last word: this life ends in order. The thread that writes it is to be waited for.
-    pub fn finish(self, in_order: bool) -> Option<std::thread::JoinHandle<()>> {
+    pub(super) fn finish(self, in_order: bool) -> Option<std::thread::JoinHandle<()>> {
         let ran = self.ran();
         let writer = self.writer?;
         let last = [Some(Write::Ran(ran)), in_order.then_some(Write::InOrder)];
--- a/crates/daemon/src/keeper.rs
+++ b/crates/daemon/src/keeper.rs
@@ -10,7 +10,7 @@
 
 impl Keeper {
     /// Keeps in a file, or nowhere. `what` names the texts in the log.
-    pub fn start(path: Option<PathBuf>, what: &'static str) -> Keeper {
+    pub(crate) fn start(path: Option<PathBuf>, what: &'static str) -> Keeper {
         let Some(path) = path else {
             return Keeper(None);
         };
@@ -29,18 +29,18 @@
     }
 
     /// Whether anything is kept at all.
-    pub fn keeps(&self) -> bool {
+    pub(crate) fn keeps(&self) -> bool {
         self.0.is_some()
     }
 
-    pub fn keep(&self, text: String) {
+    pub(crate) fn keep(&self, text: String) {
         if let Some((sender, _)) = &self.0 {
             let _ = sender.send(text); // The thread ends with this only.
         }
     }
 
     /// Ends; gives the thread that still writes, to be waited for where waiting is allowed.
-    pub fn finish(self) -> Option<JoinHandle<()>> {
+    pub(crate) fn finish(self) -> Option<JoinHandle<()>> {
         self.0.map(|(_, thread)| thread)
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,17 +1,18 @@
 //! The session front on sockets.
 //!
-//! One coroutine, the [`hub`], owns the core and is the only one that decides; all others read sockets, tell the hub
+//! One coroutine, the `hub`, owns the core and is the only one that decides; all others read sockets, tell the hub
 //! what they read and send what it wants sent. They meet in one queue, so the order of events is the hub's.
 //!
-//! - [`players`]: the listener, HTTP and WebSocket;
-//! - [`player`]: one player's connection as all of them see it;
-//! - [`attempts`]: set-ups, each over a connection from the [`pool`];
-//! - [`links`]: for each server the stream of its notes and the queue of its rung changes and teardowns;
-//! - [`contact`]: what the stream's words and silence say of the sessions there, pure;
-//! - [`directory`]: the list service and the list's copy on disk;
-//! - [`peers`]: the other fronts, over UDP;
-//! - [`kept`]: what former lives left, and the front's name; [`books`]: what servers hold and ran of it;
-//! - [`traffic`]: what crosses between halls; [`keeper`]: what is kept on disk.
+//! - `players`: the listener, HTTP and WebSocket;
+//! - `player`: one player's connection as all of them see it;
+//! - `attempts`: set-ups, each over a connection from the `pool`;
+//! - `links`: for each server the stream of its notes and the queue of its rung changes and teardowns;
+//! - `contact`: what the stream's words and silence say of the sessions there, pure;
+//! - `directory`: the list service and the list's copy on disk;
+//! - `peers`: the other fronts, over UDP;
+//! - `kept`: what former lives left, and the front's name; `books`: what servers hold and ran of it;
+//! - `traffic`: what crosses between halls; `keeper`: what is kept on disk.
+#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 mod attempts;
@@ -105,7 +106,7 @@
         players::watch_idle(shared.clone(), stopped.clone());
         let of_players = shared.clone();
         accept_each(listener, stopped.clone(), move |socket| {
-            players::serve(socket, &of_players)
+            players::serve(socket, &of_players);
         });
         tracing::info!(%address, "listening");
         Ok(Daemon {
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -46,7 +46,7 @@
 }
 
 impl Link {
-    pub fn new(shared: &Arc<Shared>, id: ServerId, address: SocketAddr) -> Arc<Link> {
+    pub(crate) fn new(shared: &Arc<Shared>, id: ServerId, address: SocketAddr) -> Arc<Link> {
         let (control, queue) = mpsc::channel();
         let shared = shared.clone();
         // Rung changes of one session must arrive in their order, so one coroutine sends them all.
@@ -77,11 +77,11 @@
         })
     }
 
-    pub fn set_rung(&self, shared: &Shared, name: &str, rung: u8) {
+    pub(crate) fn set_rung(&self, shared: &Shared, name: &str, rung: u8) {
         self.queue(shared, Control::Rung(name.to_owned(), rung));
     }
 
-    pub fn tear_down(&self, shared: &Shared, name: &str) {
+    pub(crate) fn tear_down(&self, shared: &Shared, name: &str) {
         self.queue(shared, Control::TearDown(name.to_owned()));
     }
 
@@ -91,7 +91,7 @@
     }
 
     /// Sees that the server's notes are heard.
-    pub fn subscribe(self: &Arc<Link>, shared: &Arc<Shared>) {
+    pub(crate) fn subscribe(self: &Arc<Link>, shared: &Arc<Shared>) {
         if !self.subscribed.swap(true, Ordering::AcqRel) {
             let (link, shared) = (self.clone(), shared.clone());
             spawn(Stack::Usual, move || link.follow(&shared));
@@ -99,7 +99,7 @@
     }
 
     /// Whether the server's reports are wanted whatever is held there.
-    pub fn want(self: &Arc<Link>, shared: &Arc<Shared>, wanted: bool) {
+    pub(crate) fn want(self: &Arc<Link>, shared: &Arc<Shared>, wanted: bool) {
         self.wanted.store(wanted, Ordering::Release);
         if wanted {
             self.subscribe(shared);
@@ -111,7 +111,7 @@
     }
 
     /// Ends the stream if nothing has been held or wanted for a time.
-    pub fn rest(&self, now: u64, after: u64) {
+    pub(crate) fn rest(&self, now: u64, after: u64) {
         let idle = now.saturating_sub(self.idle_since.load(Ordering::Acquire));
         if self.is_idle() && idle > after {
             let stream = self
@@ -185,12 +185,12 @@
                     }
                     Ok(Some(Said::Notes(name, notes))) => shared.tell(Msg::Notes(name, notes)),
                     Ok(Some(Said::Over(name, outcome, sent))) => {
-                        shared.tell(Msg::Over(name, outcome, sent))
+                        shared.tell(Msg::Over(name, outcome, sent));
                     }
                     Ok(Some(Said::Traffic(traffic))) => shared.tell(Msg::Traffic(self.id, traffic)),
                     Ok(None) => {}
                     Err(what) => {
-                        tracing::warn!(server = self.id.0, %what, "a server's stream is malformed")
+                        tracing::warn!(server = self.id.0, %what, "a server's stream is malformed");
                     }
                 },
                 Err(fault) => {
--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/names.rs
@@ -15,24 +15,24 @@
 
 impl Names {
     /// `front`: the same in all lives; where there is none, one is drawn.
-    pub fn new(front: Option<String>) -> Names {
+    pub(crate) fn new(front: Option<String>) -> Names {
         let keyed = RandomState::new();
         let front = front.unwrap_or_else(|| format!("f{:016x}", keyed.hash_one("front")));
         Names { keyed, front }
     }
 
     /// This front, under which servers send it notes; without a store, this life of it.
-    pub fn front(&self) -> &str {
+    pub(crate) fn front(&self) -> &str {
         &self.front
     }
 
     /// An attempt's name at its server.
-    pub fn attempt(&self, attempt: AttemptId) -> String {
+    pub(crate) fn attempt(&self, attempt: AttemptId) -> String {
         format!("{:016x}-{:x}", self.keyed.hash_one(attempt.0), attempt.0)
     }
 
     /// The attempt that a name stands for; `None` where this life of the front never gave it.
-    pub fn attempt_of(&self, name: &str) -> Option<AttemptId> {
+    pub(crate) fn attempt_of(&self, name: &str) -> Option<AttemptId> {
         let number = u64::from_str_radix(name.split_once('-')?.1, 16).ok()?;
         Some(AttemptId(number)).filter(|attempt| self.attempt(*attempt) == name)
     }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -38,14 +38,14 @@
 
 impl Link {
     /// What is known of the others; `None` if it is not told in time. Call in a coroutine.
-    pub fn members(&self, until: u64) -> Option<Members> {
+    pub(crate) fn members(&self, until: u64) -> Option<Members> {
         let (tell, told) = channel();
         self.0.send(Word::Tell(tell)).ok()?;
         recv_until(&told, until).ok()
     }
 
     /// Says to the others that this front leaves. Call on a thread, not in a coroutine.
-    pub fn leave(&self) {
+    pub(crate) fn leave(&self) {
         let (done, left) = std::sync::mpsc::channel();
         if self.0.send(Word::Leave(done)).is_ok() {
             let _ = left.recv_timeout(LAST_WORDS); // They find out by themselves, later.
@@ -109,7 +109,7 @@
 
 impl Opened {
     /// Takes part. `known` is told how many fronts are known, this one with them, whenever that changes.
-    pub fn run(self, known: impl Fn(u32) + Send + 'static) {
+    pub(crate) fn run(self, known: impl Fn(u32) + Send + 'static) {
         let Opened {
             settings,
             socket,
@@ -282,10 +282,10 @@
                 Output::Change(c) => {
                     match c.state {
                         State::Alive | State::Left => {
-                            tracing::info!(member = c.name, state = ?c.state, by = c.by, restarted = c.restarted, "member")
+                            tracing::info!(member = c.name, state = ?c.state, by = c.by, restarted = c.restarted, "member");
                         }
                         State::Suspect | State::Gone => {
-                            tracing::warn!(member = c.name, state = ?c.state, by = c.by, "member")
+                            tracing::warn!(member = c.name, state = ?c.state, by = c.by, "member");
                         }
                     }
                     self.turned += 1;
@@ -297,7 +297,7 @@
                 Output::Standing(Standing::Replaced) => {
                     tracing::error!(
                         "another process has this front's name among its peers; it is silent from now on"
-                    )
+                    );
                 }
                 Output::Standing(standing) => tracing::info!(?standing, "own standing"),
             }
--- a/crates/daemon/src/player.rs
+++ b/crates/daemon/src/player.rs
@@ -26,7 +26,12 @@
 
 impl Player {
     /// Answers a call; a call that is not waited for is ignored. `session`: what the answer makes known.
-    pub fn answer(&self, number: u64, session: Option<RequestId>, with: impl FnOnce(&Id) -> Value) {
+    pub(crate) fn answer(
+        &self,
+        number: u64,
+        session: Option<RequestId>,
+        with: impl FnOnce(&Id) -> Value,
+    ) {
         // Danger: what a lock orders must also be sent under it, or a notice passes the answer that it follows. The
         // sends only queue bytes and never wait.
         let mut calls = self.calls();
@@ -37,7 +42,7 @@
     }
 
     /// Tells of a session, behind the answer that makes it known.
-    pub fn notify(&self, session: RequestId, notice: Value) {
+    pub(crate) fn notify(&self, session: RequestId, notice: Value) {
         let mut calls = self.calls();
         calls
             .notice(session.0, notice)
@@ -45,11 +50,11 @@
             .for_each(|value| self.tell(value));
     }
 
-    pub fn calls(&self) -> MutexGuard<'_, Calls> {
+    pub(crate) fn calls(&self) -> MutexGuard<'_, Calls> {
         self.calls.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub fn tell(&self, value: &Value) {
+    pub(crate) fn tell(&self, value: &Value) {
         self.push(Frame::message(
             value.to_string(),
             OpCode::Data(Data::Text),
@@ -58,7 +63,7 @@
     }
 
     /// Says that the front goes away.
-    pub fn close(&self) {
+    pub(crate) fn close(&self) {
         let reason = CloseFrame {
             code: CloseCode::Away,
             reason: "the front stops".into(),
@@ -67,7 +72,7 @@
         self.outbox.socket().set_expiry(clock::now() + LINGER / 2);
     }
 
-    pub fn push(&self, frame: Frame) {
+    pub(crate) fn push(&self, frame: Frame) {
         let mut bytes = Vec::with_capacity(frame.len());
         if frame.format(&mut bytes).is_ok() {
             self.outbox.push(&bytes);
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -10,7 +10,7 @@
 
 impl Pool {
     /// A connection that is there and idle. The latest used first, so that the others grow old and close.
-    pub fn take(&self, address: &SocketAddr) -> Option<Arc<Socket>> {
+    pub(crate) fn take(&self, address: &SocketAddr) -> Option<Arc<Socket>> {
         let mut idle = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let of_server = idle.get_mut(address)?;
         while let Some(socket) = of_server.pop() {
@@ -25,7 +25,7 @@
         None
     }
 
-    pub fn put(&self, address: SocketAddr, socket: Arc<Socket>, for_time: u64) {
+    pub(crate) fn put(&self, address: SocketAddr, socket: Arc<Socket>, for_time: u64) {
         socket.set_expiry(clock::now().saturating_add(for_time));
         let mut idle = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let of_server = idle.entry(address).or_default();
@@ -34,7 +34,7 @@
     }
 
     /// Forgets connections that were closed.
-    pub fn prune(&self) {
+    pub(crate) fn prune(&self) {
         let mut idle = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|_, of_server| {
             of_server.retain(|s| !s.is_shut());
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -83,7 +83,7 @@
 }
 
 impl Shared {
-    pub fn new(
+    pub(crate) fn new(
         config: Config,
         peers: Option<crate::peers::Link>,
         name: Option<String>,
@@ -108,18 +108,18 @@
         (Arc::new(shared), receiver)
     }
 
-    pub fn tell(&self, msg: Msg) {
+    pub(crate) fn tell(&self, msg: Msg) {
         if matches!(msg, Msg::Player(_)) {
             self.queued.fetch_add(1, Ordering::Relaxed);
         }
         let _ = self.inbox.send(msg); // After the hub's end nobody needs to know.
     }
 
-    pub fn limits(&self) -> &Limits {
+    pub(crate) fn limits(&self) -> &Limits {
         &self.config.limits
     }
 
-    pub fn connect_within(&self) -> Duration {
+    pub(crate) fn connect_within(&self) -> Duration {
         Duration::from_nanos(self.config.limits.connect)
     }
 }
--- a/crates/daemon/src/traffic.rs
+++ b/crates/daemon/src/traffic.rs
@@ -95,7 +95,7 @@
 }
 
 impl Traffic {
-    pub fn new(config: &Config, kept: Option<&Report>) -> Traffic {
+    pub(crate) fn new(config: &Config, kept: Option<&Report>) -> Traffic {
         let (mut desk, names) = (Desk::new(terms(config)), names(config));
         if let Some(report) = kept {
             desk.restore(&report.kept(&names));
@@ -117,7 +117,7 @@
     }
 
     /// The name of a server's zone; empty where it is not listed.
-    pub fn hall(&self, server: ServerId) -> &str {
+    pub(crate) fn hall(&self, server: ServerId) -> &str {
         let zone = self
             .desk
             .zone(server.0)
@@ -125,7 +125,7 @@
         zone.map_or("", String::as_str)
     }
 
-    pub fn attempt(&mut self, id: AttemptId, number: u8, server: ServerId, order: &Order) {
+    pub(crate) fn attempt(&mut self, id: AttemptId, number: u8, server: ServerId, order: &Order) {
         let group = self.groups.get(&order.title).copied().unwrap_or(0);
         let (server, class, tenant, rung) = (server.0, order.class, order.tenant, order.rung);
         self.desk.attempt(Attempt {
@@ -140,7 +140,7 @@
     }
 
     /// What a server counted of this front's sessions, by their numbers, and of what crosses to its zone.
-    pub fn counted(
+    pub(crate) fn counted(
         &mut self,
         server: ServerId,
         sent: &[(AttemptId, u64)],
@@ -163,18 +163,18 @@
     }
 
     /// Other budgets, and zones that were added; what was counted and is owed stays.
-    pub fn change(&mut self, config: &Config) {
+    pub(crate) fn change(&mut self, config: &Config) {
         self.desk.change(terms(config));
         self.names.zones.clone_from(&config.zones);
     }
 
     /// Begins a round of settling.
-    pub fn begin_round(&mut self) {
+    pub(crate) fn begin_round(&mut self) {
         self.settling = true;
     }
 
     /// Settles some; whether there is more to do.
-    pub fn settle_some(&mut self) -> bool {
+    pub(crate) fn settle_some(&mut self) -> bool {
         if self.settling {
             self.settling = !self.desk.settle(clock::now(), STEP);
         }
@@ -182,7 +182,7 @@
     }
 
     /// The report as JSON.
-    pub fn report(&mut self) -> String {
+    pub(crate) fn report(&mut self) -> String {
         let report = Report::of(
             &mut self.desk,
             self.front,
--- a/crates/daemon/tests/described.rs
+++ b/crates/daemon/tests/described.rs
@@ -1,5 +1,6 @@
 //! Everything that is described is exchanged over sockets, by both versions, and held against the published files: what no
 //! description allows fails, and so does what is described and was not exchanged.
+#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 mod rig;
 use crankpaddle_api::conform::{Checker, Exception, Exchange};
 use crankpaddle_lab::list_service::{entry, State};
@@ -440,7 +441,7 @@
     daemon.wait();
     copied("a", "late");
     let late = rig_of(&[("log {", &store("late"))], |rig| {
-        rig.fleet.set_mode(4, |m| m.vanished = true)
+        rig.fleet.set_mode(4, |m| m.vanished = true);
     });
     heard(&late, &["\"power_lost\"", "\"time\""]);
     late.modes(|m| m.vanished = false);
@@ -615,7 +616,7 @@
                         .as_object_mut()
                         .unwrap()
                         .remove("media"),
-                )
+                );
             },
             "\"media\"",
         ),
@@ -627,7 +628,7 @@
                         .as_array_mut()
                         .unwrap()
                         .remove(0),
-                )
+                );
             },
             "\"no_answer\"",
         ),
@@ -637,7 +638,7 @@
                 d["components"]["schemas"]["EndReason"]["oneOf"]
                     .as_array_mut()
                     .unwrap()
-                    .push(json!({"const": "bored"}))
+                    .push(json!({"const": "bored"}));
             },
             "end.params.reason = \"bored\"",
         ),
@@ -645,7 +646,7 @@
             "a property that is never sent",
             |d| {
                 d["components"]["schemas"]["Ended"]["properties"]["mood"] =
-                    json!({"type": "string"})
+                    json!({"type": "string"});
             },
             "end.params.mood",
         ),
@@ -653,7 +654,7 @@
             "another type",
             |d| {
                 d["components"]["schemas"]["RungChanged"]["properties"]["rung"] =
-                    json!({"type": "string"})
+                    json!({"type": "string"});
             },
             "session.rung",
         ),
@@ -661,7 +662,7 @@
             "a narrower bound",
             |d| {
                 d["components"]["schemas"]["Opened"]["properties"]["session"]["maxLength"] =
-                    json!(1)
+                    json!(1);
             },
             "\"session\":\"s-",
         ),
@@ -671,7 +672,7 @@
                 d["components"]["schemas"]["Refused"]["required"]
                     .as_array_mut()
                     .unwrap()
-                    .push(json!("advice"))
+                    .push(json!("advice"));
             },
             "\"refused\"",
         ),
@@ -679,7 +680,7 @@
             "another code",
             |d| {
                 d["components"]["messages"]["superseded"]["payload"]["properties"]["error"]
-                    ["properties"]["code"] = json!({"const": -32_099})
+                    ["properties"]["code"] = json!({"const": -32_099});
             },
             "-32003",
         ),
@@ -697,7 +698,7 @@
             "another method",
             |d| {
                 d["components"]["messages"]["resume"]["payload"]["properties"]["method"] =
-                    json!({"const": "session.again"})
+                    json!({"const": "session.again"});
             },
             "resume",
         ),
--- a/crates/daemon/tests/edges.rs
+++ b/crates/daemon/tests/edges.rs
@@ -1,5 +1,6 @@
 //! What comes to the listener that is no well-behaved player: malformed frames, JSON and HTTP, oversize, half-open
 //! sockets, players that never read, and more than the front may take.
+#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 mod rig;
 use crankpaddle_lab::record::Seen;
 use crankpaddle_session_api::client::{self, Said};
--- a/crates/daemon/tests/rig/mod.rs
+++ b/crates/daemon/tests/rig/mod.rs
@@ -17,13 +17,13 @@
 use tungstenite::client::IntoClientRequest;
 use tungstenite::{Message, WebSocket};
 
-pub const PAID: &str = "licensed-view";
-pub const FREE: &str = "preview";
+pub(crate) const PAID: &str = "licensed-view";
+pub(crate) const FREE: &str = "preview";
 /// Nothing here takes longer unless something is broken.
-pub const LONG: Duration = Duration::from_secs(20);
+pub(crate) const LONG: Duration = Duration::from_secs(20);
 
 /// The fleet's text with short times, and each change made in it.
-pub fn text(changes: &[(&str, &str)]) -> String {
+pub(crate) fn text(changes: &[(&str, &str)]) -> String {
     let quick = [
         (
             "aim: \"800ms\"\n  give_up: \"4s\"",
@@ -47,7 +47,7 @@
         })
 }
 
-pub struct Rig {
+pub(crate) struct Rig {
     pub config: Arc<Config>,
     pub fleet: Arc<Fleet>,
     pub list: Arc<ListService>,
@@ -55,7 +55,7 @@
     pub recorder: Recorder,
 }
 
-pub fn fleet(text: &str) -> (Arc<Config>, Arc<Fleet>, Recorder) {
+pub(crate) fn fleet(text: &str) -> (Arc<Config>, Arc<Fleet>, Recorder) {
     crankpaddle_net::start(Some(2));
     let config = Arc::new(
         crankpaddle_config::parse(&front(text, &"127.0.0.1:1".parse().unwrap(), "")).unwrap(),
@@ -73,7 +73,7 @@
     (config, fleet, recorder)
 }
 
-pub fn front(text: &str, list: &SocketAddr, cache: &str) -> String {
+pub(crate) fn front(text: &str, list: &SocketAddr, cache: &str) -> String {
     format!(
         "{}{text}",
         front_block(0, 1, "north", &list.to_string(), cache)
@@ -81,7 +81,7 @@
     .replacen("front {", "front {\n  seed: 5", 1)
 }
 
-pub fn list(config: &Config, fleet: &Fleet, recorder: &Recorder) -> Arc<ListService> {
+pub(crate) fn list(config: &Config, fleet: &Fleet, recorder: &Recorder) -> Arc<ListService> {
     let entries = fleet
         .servers
         .iter()
@@ -91,7 +91,7 @@
 }
 
 /// Servers and a list service, before any front.
-pub struct Stage {
+pub(crate) struct Stage {
     pub config: Arc<Config>,
     pub fleet: Arc<Fleet>,
     pub list: Arc<ListService>,
@@ -100,7 +100,7 @@
 }
 
 impl Stage {
-    pub fn new(changes: &[(&str, &str)]) -> Stage {
+    pub(crate) fn new(changes: &[(&str, &str)]) -> Stage {
         let text = text(changes);
         let (config, fleet, recorder) = fleet(&text);
         let list = list(&config, &fleet, &recorder);
@@ -113,33 +113,33 @@
         }
     }
 
-    pub fn front(&self) -> Config {
+    pub(crate) fn front(&self) -> Config {
         crankpaddle_config::parse(&front(&self.text, &self.list.address, "")).unwrap()
     }
 
-    pub fn start(&self) -> Daemon {
+    pub(crate) fn start(&self) -> Daemon {
         Daemon::start(self.front()).unwrap()
     }
 }
 
 impl Rig {
-    pub fn new(changes: &[(&str, &str)]) -> Rig {
+    pub(crate) fn new(changes: &[(&str, &str)]) -> Rig {
         Rig::with_tenant(changes, "")
     }
 
     /// Where the changes name tenants, one of them must be given.
-    pub fn with_tenant(changes: &[(&str, &str)], tenant: &str) -> Rig {
+    pub(crate) fn with_tenant(changes: &[(&str, &str)], tenant: &str) -> Rig {
         Rig::on(Stage::new(changes), tenant, |_| {})
     }
 
     /// A front before servers of its own, to which something is done first.
-    pub fn on(stage: Stage, tenant: &str, before: impl FnOnce(&Stage)) -> Rig {
+    pub(crate) fn on(stage: Stage, tenant: &str, before: impl FnOnce(&Stage)) -> Rig {
         before(&stage);
         let daemon = stage.start();
         Rig::of(stage, daemon, tenant)
     }
 
-    pub fn of(stage: Stage, daemon: Daemon, tenant: &str) -> Rig {
+    pub(crate) fn of(stage: Stage, daemon: Daemon, tenant: &str) -> Rig {
         let Stage {
             config,
             fleet,
@@ -159,7 +159,7 @@
     }
 
     /// Waits until the front has a list: only then a request can be placed.
-    pub fn listed(&self, tenant: &str) {
+    pub(crate) fn listed(&self, tenant: &str) {
         wait("the list to be told", || {
             self.seen(|s| matches!(s, Seen::Listed { .. })) > 0
         });
@@ -179,11 +179,11 @@
         wait("the probe to end", || self.fleet.streams() == 0);
     }
 
-    pub fn modes(&self, change: impl Fn(&mut Mode)) {
+    pub(crate) fn modes(&self, change: impl Fn(&mut Mode)) {
         (0..12).for_each(|id| self.fleet.set_mode(id, &change));
     }
 
-    pub fn seen(&self, which: impl Fn(&Seen) -> bool) -> usize {
+    pub(crate) fn seen(&self, which: impl Fn(&Seen) -> bool) -> usize {
         self.recorder
             .all()
             .iter()
@@ -192,7 +192,7 @@
     }
 
     /// Set-ups and bills of the session with this key.
-    pub fn of_key(&self, key: &str) -> (usize, usize) {
+    pub(crate) fn of_key(&self, key: &str) -> (usize, usize) {
         let label = crankpaddle_upstream::sessions::bill(key);
         let sent = self.seen(|s| matches!(s, Seen::SetUp { bill, .. } if *bill == label));
         (
@@ -202,7 +202,7 @@
     }
 
     /// The judge's verdict on what the servers saw; the players here are not recorded.
-    pub fn verdict(&self) -> Verdict {
+    pub(crate) fn verdict(&self) -> Verdict {
         let records: Vec<Record> = self.recorder.all();
         judge(
             &Rules::of(&self.config, 1_000_000_000, 150_000_000),
@@ -210,18 +210,18 @@
         )
     }
 
-    pub fn player(&self) -> Player {
+    pub(crate) fn player(&self) -> Player {
         Player::connect(self.daemon.address())
     }
 
-    pub fn raw(&self) -> TcpStream {
+    pub(crate) fn raw(&self) -> TcpStream {
         let stream = TcpStream::connect(self.daemon.address()).unwrap();
         stream.set_read_timeout(Some(LONG)).unwrap();
         stream
     }
 
     /// Sends bytes and reads all until the front closes.
-    pub fn exchange(&self, bytes: &[u8]) -> String {
+    pub(crate) fn exchange(&self, bytes: &[u8]) -> String {
         let mut stream = self.raw();
         stream.write_all(bytes).unwrap();
         let mut answer = Vec::new();
@@ -231,7 +231,7 @@
 }
 
 /// Waits for something that must come, looking again and again.
-pub fn wait(what: &str, mut come: impl FnMut() -> bool) {
+pub(crate) fn wait(what: &str, mut come: impl FnMut() -> bool) {
     let until = Instant::now() + LONG;
     while !come() {
         assert!(Instant::now() < until, "waited in vain for {what}");
@@ -239,14 +239,14 @@
     }
 }
 
-pub struct Player {
+pub(crate) struct Player {
     pub socket: WebSocket<TcpStream>,
     calls: u64,
     pub tenant: Option<String>,
 }
 
 impl Player {
-    pub fn connect(address: SocketAddr) -> Player {
+    pub(crate) fn connect(address: SocketAddr) -> Player {
         let stream = TcpStream::connect(address).unwrap();
         stream.set_read_timeout(Some(LONG)).unwrap();
         let mut request = format!("ws://{address}/session")
@@ -268,11 +268,11 @@
         }
     }
 
-    pub fn say(&mut self, text: impl Into<String>) {
+    pub(crate) fn say(&mut self, text: impl Into<String>) {
         self.socket.send(Message::text(text.into())).unwrap();
     }
 
-    pub fn open_for(&mut self, key: &str, class: &str, title: &str) -> u64 {
+    pub(crate) fn open_for(&mut self, key: &str, class: &str, title: &str) -> u64 {
         self.calls += 1;
         let (key, title, class) = (key.into(), title.into(), class.into());
         let open = Open {
@@ -286,11 +286,11 @@
         self.calls
     }
 
-    pub fn open(&mut self, key: &str, class: &str) -> u64 {
+    pub(crate) fn open(&mut self, key: &str, class: &str) -> u64 {
         self.open_for(key, class, "clip-03")
     }
 
-    pub fn hear(&mut self) -> Said {
+    pub(crate) fn hear(&mut self) -> Said {
         loop {
             match self.socket.read().unwrap() {
                 Message::Text(text) => return client::read(&text).unwrap().remove(0),
@@ -300,12 +300,12 @@
         }
     }
 
-    pub fn open_and_wait(&mut self, key: &str, class: &str) -> (u64, Said) {
+    pub(crate) fn open_and_wait(&mut self, key: &str, class: &str) -> (u64, Said) {
         let call = self.open(key, class);
         (call, self.hear())
     }
 
-    pub fn close_session(&mut self, session: &str) -> Said {
+    pub(crate) fn close_session(&mut self, session: &str) -> Said {
         self.calls += 1;
         let text = client::close(self.calls, session);
         self.say(text);
@@ -318,7 +318,7 @@
     }
 
     /// Whether nothing more comes within a time; only to look for what must not be.
-    pub fn is_silent(&mut self, time: Duration) -> bool {
+    pub(crate) fn is_silent(&mut self, time: Duration) -> bool {
         self.socket.get_ref().set_read_timeout(Some(time)).unwrap();
         let quiet = matches!(self.socket.read(), Err(tungstenite::Error::Io(e)) if e.kind() == ErrorKind::WouldBlock);
         self.socket.get_ref().set_read_timeout(Some(LONG)).unwrap();
--- a/crates/fleet-net/examples/foca.rs
+++ b/crates/fleet-net/examples/foca.rs
@@ -355,7 +355,7 @@
 
 fn main() {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    let wanted = args.first().map(String::as_str).unwrap_or("deaths");
+    let wanted = args.first().map_or("deaths", String::as_str);
     let number =
         |i: usize, default: u64| args.get(i).and_then(|a| a.parse().ok()).unwrap_or(default);
     let (fronts, seed) = (number(1, 40) as usize, number(2, 1));
--- a/crates/fleet-net/src/lib.rs
+++ b/crates/fleet-net/src/lib.rs
@@ -1,5 +1,6 @@
 //! Cases of a fleet: scripts of what is done to its fronts and to the net between them, with claims that are judged; and fleets
 //! in one process on a given clock to play them on. The same pure packages run here as behind sockets; seed and size decide all.
+#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 mod net;
--- a/crates/fleet-net/src/net.rs
+++ b/crates/fleet-net/src/net.rs
@@ -251,7 +251,7 @@
                     let node = &mut self.nodes[i];
                     if node.up && !node.stopped && node.wake == at {
                         node.wake = u64::MAX;
-                        self.tell(i, |p, now, out| p.expire(now, out));
+                        self.tell(i, crankpaddle_membership::Peers::expire);
                     }
                 }
             }
@@ -290,7 +290,7 @@
         for (from, bytes) in std::mem::take(&mut self.nodes[i].backlog) {
             self.deliver(from, i, bytes);
         }
-        self.tell(i, |p, now, out| p.expire(now, out));
+        self.tell(i, crankpaddle_membership::Peers::expire);
     }
 
     /// Whether each of `at` takes each of `of` (but itself) for this.
@@ -348,7 +348,7 @@
             Act::Kill(fronts) => each(fronts).into_iter().for_each(|i| self.kill(i)),
             Act::End(fronts) => {
                 for i in each(fronts) {
-                    self.tell(i, |p, now, out| p.leave(now, out));
+                    self.tell(i, crankpaddle_membership::Peers::leave);
                     self.kill(i);
                 }
             }
--- a/crates/fleet-net/src/script.rs
+++ b/crates/fleet-net/src/script.rs
@@ -3,7 +3,7 @@
 use crankpaddle_textproto::{Checks, Problem};
 use std::collections::HashMap;
 
-#[allow(missing_docs)] // The schema's own comments tell.
+#[allow(missing_docs, unreachable_pub)] // Generated; the schema has comments of its own.
 mod schema {
     include!(concat!(env!("OUT_DIR"), "/crankpaddle.fleet.v1.rs"));
 }
--- a/crates/front/src/core/attempts.rs
+++ b/crates/front/src/core/attempts.rs
@@ -1,7 +1,7 @@
 //! Attempts: how they come out, and what servers say of sessions.
 use super::{spread, Core, EARLY_NOTES};
 use crate::keys::{self, Past, Standing};
-use crate::messages::*;
+use crate::messages::{Answer, AttemptId, Effect, Failure, Notice, OverReason};
 use crankpaddle::{Event, LoadField, Note, Outcome, Report, RequestId, Time};
 
 impl Core {
--- a/crates/front/src/core/ends.rs
+++ b/crates/front/src/core/ends.rs
@@ -1,7 +1,7 @@
 //! Ends: of sessions, of waits, of what is kept of keys, and of the front.
 use super::{spread, Core};
 use crate::keys::{self, Past, Reopen, Standing};
-use crate::messages::*;
+use crate::messages::{Answer, Effect, Failure, Notice, OverReason, Refusal};
 use crate::timers::Due;
 use crankpaddle::{Event, Outcome, Report, RequestId, Time};
 
--- a/crates/front/src/core/mod.rs
+++ b/crates/front/src/core/mod.rs
@@ -7,7 +7,9 @@
 
 use crate::held::Queue;
 use crate::keys::{Past, Standing};
-use crate::messages::*;
+use crate::messages::{
+    Answer, AttemptId, Call, Effect, Failure, Input, Notice, Open, Order, PlayerId, Refusal, SetUp,
+};
 use crate::overload::{Bounds, Overload};
 use crate::timers::{Due, Timers};
 use crankpaddle::{
@@ -270,10 +272,10 @@
             Input::PlayerGone(player) => self.player_gone(now, player),
             Input::Roster(kind, entries) => self.events.push_back(Event::Roster(kind, entries)),
             Input::SetUp(attempt, SetUp::Started(report)) => {
-                self.started(now, attempt, report, out)
+                self.started(now, attempt, report, out);
             }
             Input::SetUp(attempt, SetUp::Ended(outcome, report)) => {
-                self.attempt_ended(attempt, outcome, report)
+                self.attempt_ended(attempt, outcome, report);
             }
             Input::KeptBack(attempt, kept_back) => self.kept_back(attempt, kept_back),
             Input::Note(attempt, note) => self.note(attempt, note),
@@ -381,14 +383,14 @@
                 } else {
                     Refusal::NoRoom
                 };
-                self.answer_waiting(request, Answer::Refused(why, stay_away), out)
+                self.answer_waiting(request, Answer::Refused(why, stay_away), out);
             }
             Action::Fail(request) => {
                 let failure = self
                     .requests
                     .get(&request)
                     .map_or(Failure::NoAnswer, |r| r.failure);
-                self.answer_waiting(request, Answer::Failed(failure), out)
+                self.answer_waiting(request, Answer::Failed(failure), out);
             }
             Action::Cancel { request, attempt } => {
                 let Some(r) = self
--- a/crates/front/src/core/players.rs
+++ b/crates/front/src/core/players.rs
@@ -1,7 +1,9 @@
 //! Players: what they open, take up, close and leave.
 use super::{spread, Core, Request};
 use crate::keys::{self, Past, Reopen, Standing};
-use crate::messages::*;
+use crate::messages::{
+    Answer, AttemptId, Call, Effect, Failure, Notice, Open, OverReason, PlayerId, Refusal,
+};
 use crate::overload::Verdict;
 use crate::timers::Due;
 use crankpaddle::{Ask, Event, Outcome, Report, RequestId, ServerId, Time};
@@ -135,7 +137,7 @@
         match r.standing {
             Standing::Waiting | Standing::Playing => self.take_up(call, id, out),
             Standing::Past(Past::Failed) => {
-                out.push(Effect::Answer(call, Answer::Failed(r.failure)))
+                out.push(Effect::Answer(call, Answer::Failed(r.failure)));
             }
             Standing::Past(_) => out.push(Effect::Answer(call, Answer::Unknown)),
         }
--- a/crates/front/src/core/returns.rs
+++ b/crates/front/src/core/returns.rs
@@ -2,7 +2,7 @@
 use super::{spread, Core, Request};
 use crate::held::Held;
 use crate::keys::{Past, Standing};
-use crate::messages::*;
+use crate::messages::{Answer, Call, Effect, Failure, Open, Refusal};
 use crate::overload::Verdict as Load;
 use crate::timers::Due;
 use crankpaddle::{Ask, Effect as Kind, Event, RequestId, ServerId, Time};
--- a/crates/front/src/held.rs
+++ b/crates/front/src/held.rs
@@ -18,23 +18,23 @@
 pub(crate) struct Queue(VecDeque<Held>);
 
 impl Queue {
-    pub fn push(&mut self, held: Held) {
+    pub(crate) fn push(&mut self, held: Held) {
         self.0.push_back(held);
     }
 
-    pub fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.0.len()
     }
 
-    pub fn of(&self, player: PlayerId) -> usize {
+    pub(crate) fn of(&self, player: PlayerId) -> usize {
         self.0.iter().filter(|h| h.call.player == player).count()
     }
 
-    pub fn take_all(&mut self) -> impl Iterator<Item = Held> {
+    pub(crate) fn take_all(&mut self) -> impl Iterator<Item = Held> {
         std::mem::take(&mut self.0).into_iter()
     }
 
-    pub fn take_due(&mut self, now: Time) -> Vec<Held> {
+    pub(crate) fn take_due(&mut self, now: Time) -> Vec<Held> {
         let (due, rest) = std::mem::take(&mut self.0)
             .into_iter()
             .partition(|h| h.deadline <= now);
@@ -43,7 +43,7 @@
     }
 
     /// Its connection is gone, and no answer is owed on it.
-    pub fn drop_of(&mut self, player: PlayerId) {
+    pub(crate) fn drop_of(&mut self, player: PlayerId) {
         self.0.retain(|h| h.call.player != player);
     }
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -14,6 +14,7 @@
 //!
 //! Where a decision stands: [`overload`] (when the front itself refuses), [`keys`] (what a known key means),
 //! [`core`](Core) (which outcome an event amounts to).
+#![allow(clippy::missing_errors_doc, clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 mod core;
--- a/crates/front/src/timers.rs
+++ b/crates/front/src/timers.rs
@@ -25,16 +25,16 @@
 pub(crate) struct Timers(BTreeSet<(Time, Due)>);
 
 impl Timers {
-    pub fn set(&mut self, at: Time, due: Due) {
+    pub(crate) fn set(&mut self, at: Time, due: Due) {
         self.0.insert((at, due));
     }
 
-    pub fn next(&self) -> Option<Time> {
+    pub(crate) fn next(&self) -> Option<Time> {
         self.0.first().map(|(at, _)| *at)
     }
 
     /// The first that is due at `now`.
-    pub fn pop(&mut self, now: Time) -> Option<Due> {
+    pub(crate) fn pop(&mut self, now: Time) -> Option<Due> {
         self.next().filter(|at| *at <= now)?;
         self.0.pop_first().map(|(_, due)| due)
     }
--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -2,12 +2,12 @@
 use crankpaddle::{Class, Effect as Kind};
 use crankpaddle_front::Settings;
 
-pub const MS: u64 = 1_000_000;
-pub const SECOND: u64 = 1000 * MS;
-pub const FREE: u8 = 0;
-pub const PAID: u8 = 1;
+pub(crate) const MS: u64 = 1_000_000;
+pub(crate) const SECOND: u64 = 1000 * MS;
+pub(crate) const FREE: u8 = 0;
+pub(crate) const PAID: u8 = 1;
 
-pub fn settings() -> Settings {
+pub(crate) fn settings() -> Settings {
     let class = |effect, worth| Class {
         aim: 800 * MS,
         effect,
--- a/crates/front/tests/drive.rs
+++ b/crates/front/tests/drive.rs
@@ -1,4 +1,5 @@
 //! Drives a core through random trouble and checks what it owes, and through each hard case by hand.
+#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 mod common;
 use common::*;
 use crankpaddle_front::*;
@@ -320,7 +321,7 @@
     let (attempt, _) = set_up(&effects).unwrap();
     let (told, events) = std::sync::mpsc::channel();
     rig.core.set_tap(Box::new(move |_, event| {
-        drop(told.send(format!("{event:?}")))
+        drop(told.send(format!("{event:?}")));
     }));
     assert!(rig
         .hear(Input::SetUp(attempt, SetUp::Ended(Outcome::Full, vec![])))
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -354,7 +354,7 @@
                 });
             }
             Act::Runs(fronts, other) => {
-                of(fronts).into_iter().for_each(|i| self.others[i] = *other)
+                of(fronts).into_iter().for_each(|i| self.others[i] = *other);
             }
             Act::Power(power) => self.power(power).map_err(said)?,
             Act::Write(_) => {
--- a/crates/lab/src/hosts.rs
+++ b/crates/lab/src/hosts.rs
@@ -37,7 +37,7 @@
 }
 
 impl Hosts {
-    pub fn new(dir: &Path, memory: Memory, seed: u64, fronts: usize) -> io::Result<Hosts> {
+    pub(crate) fn new(dir: &Path, memory: Memory, seed: u64, fronts: usize) -> io::Result<Hosts> {
         let hosts = Hosts {
             dir: dir.to_owned(),
             key: write_key(dir)?,
@@ -75,7 +75,7 @@
     }
 
     /// A front's store, as its configuration has it.
-    pub fn block(&self, i: usize) -> String {
+    pub(crate) fn block(&self, i: usize) -> String {
         let at_once = "settle: \"1us\" calm: \"1us\" paid_first: \"1us\"";
         let steps = match self.memory {
             Memory::Forgotten => return String::new(),
@@ -89,20 +89,20 @@
     }
 
     /// The power of these fronts goes.
-    pub fn off(&mut self, fronts: &[usize]) -> io::Result<()> {
+    pub(crate) fn off(&mut self, fronts: &[usize]) -> io::Result<()> {
         fronts.iter().try_for_each(|i| {
             self.boots[*i] += 1;
             self.boot(*i)
         })
     }
 
-    pub fn servers_off(&mut self, fleet: &Fleet, servers: &[usize]) {
+    pub(crate) fn servers_off(&mut self, fleet: &Fleet, servers: &[usize]) {
         servers.iter().for_each(|id| fleet.crash(*id as u32));
         self.cold += servers.len();
     }
 
     /// They start, cold, and the list service hears of it in its own time.
-    pub fn servers_on(
+    pub(crate) fn servers_on(
         &self,
         fleet: &Arc<Fleet>,
         list: &ListService,
@@ -121,13 +121,13 @@
     }
 
     /// Copies disks as they are now.
-    pub fn copy(&self, fronts: &[usize]) -> io::Result<()> {
+    pub(crate) fn copy(&self, fronts: &[usize]) -> io::Result<()> {
         fronts
             .iter()
             .try_for_each(|i| replace(&self.store(*i), &self.copied(*i)))
     }
 
-    pub fn spoil(&self, fronts: &[usize], spoil: Spoil) -> io::Result<()> {
+    pub(crate) fn spoil(&self, fronts: &[usize], spoil: Spoil) -> io::Result<()> {
         for i in fronts {
             let (store, file) = (self.store(*i), self.store(*i).join("front.redb"));
             if !store.exists() {
@@ -149,7 +149,7 @@
 
     /// How long after their start the servers whose power went could have taken so many sessions, each pushed to the brink of its
     /// falling over at each moment: what no front can better. Those whose power stayed take all at once.
-    pub fn warming(&self, config: &Config, sessions: f64) -> Option<u64> {
+    pub(crate) fn warming(&self, config: &Config, sessions: f64) -> Option<u64> {
         let s = &config.settings;
         let pace = f64::from(*s.places.first()?) / s.cold as f64 * s.fall_multiple;
         let mut taken = 0.0;
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -530,7 +530,7 @@
                     }
                 }
                 Seen::Fell { server } => {
-                    breaches.push((*at, format!("cold server {server} fell over")))
+                    breaches.push((*at, format!("cold server {server} fell over")));
                 }
                 _ => {}
             }
--- a/crates/lab/src/ledger.rs
+++ b/crates/lab/src/ledger.rs
@@ -11,7 +11,7 @@
 }
 
 impl Ledger {
-    pub fn new(boot: u64) -> Ledger {
+    pub(crate) fn new(boot: u64) -> Ledger {
         Ledger {
             boots: vec![boot.to_string()],
             ran: BTreeMap::new(),
@@ -19,21 +19,21 @@
         }
     }
 
-    pub fn started(&mut self, boot: u64) {
+    pub(crate) fn started(&mut self, boot: u64) {
         self.boots.push(boot.to_string());
     }
 
     /// All is lost but the present life.
-    pub fn lose(&mut self) {
+    pub(crate) fn lose(&mut self) {
         self.ran.clear();
         self.boots.drain(..self.boots.len() - 1);
     }
 
-    pub fn has(&self, name: &str) -> bool {
+    pub(crate) fn has(&self, name: &str) -> bool {
         self.names.contains(name)
     }
 
-    pub fn ran(&mut self, name: &str, order: &Order) {
+    pub(crate) fn ran(&mut self, name: &str, order: &Order) {
         self.names.insert(name.to_owned());
         let ran = Ran {
             bill: order.bill.clone(),
@@ -42,7 +42,13 @@
         self.ran.entry(order.front.clone()).or_default().push(ran);
     }
 
-    pub fn book(&self, front: &str, age_ms: u64, held: Vec<Held>, under_way: Vec<String>) -> Book {
+    pub(crate) fn book(
+        &self,
+        front: &str,
+        age_ms: u64,
+        held: Vec<Held>,
+        under_way: Vec<String>,
+    ) -> Book {
         Book {
             boots: self.boots.clone(),
             age_ms,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`import`]: scripts from the bench's day files.
 //!
 //! All figures that come out of it are from simulated servers.
+#![allow(clippy::missing_panics_doc, clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 pub mod crossing;
--- a/crates/lab/src/list_service.rs
+++ b/crates/lab/src/list_service.rs
@@ -86,7 +86,7 @@
         });
         let of_fronts = service.clone();
         accept_each(listener, Arc::default(), move |socket| {
-            of_fronts.serve(Arc::new(socket))
+            of_fronts.serve(Arc::new(socket));
         });
         let teller = service.clone();
         spawn(Stack::Usual, move || {
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -3,7 +3,7 @@
 use crankpaddle_config::{Config, Problem};
 use crankpaddle_textproto::Checks;
 
-#[allow(missing_docs)] // The schema's own comments tell.
+#[allow(missing_docs, unreachable_pub)] // Generated; the schema has comments of its own.
 mod schema {
     include!(concat!(env!("OUT_DIR"), "/crankpaddle.lab.v1.rs"));
 }
--- a/crates/lab/src/server/sessions.rs
+++ b/crates/lab/src/server/sessions.rs
@@ -40,7 +40,7 @@
             fleet.recorder.see(Seen::Replied {
                 name: name.clone(),
                 reply,
-            })
+            });
         };
         let (mode, class) = (
             self.mode(),
--- a/crates/membership/src/board.rs
+++ b/crates/membership/src/board.rs
@@ -45,7 +45,7 @@
 
 impl Board {
     /// Takes an entry if it is later than what is held; true if so.
-    pub fn take(&mut self, now: u64, entry: &Written) -> bool {
+    pub(crate) fn take(&mut self, now: u64, entry: &Written) -> bool {
         let version = (entry.epoch, entry.life, entry.count);
         let at = (entry.owner.clone(), entry.key);
         if entry.value.len() > MOST_VALUE
@@ -64,7 +64,7 @@
     }
 
     /// An entry as it goes out now.
-    pub fn written(&self, now: u64, owner: &str, key: u8) -> Option<Written> {
+    pub(crate) fn written(&self, now: u64, owner: &str, key: u8) -> Option<Written> {
         let held = self.held.get(&(owner.to_owned(), key))?;
         let (epoch, life, count) = held.version;
         let age = held.age.saturating_add(now.saturating_sub(held.came));
@@ -80,7 +80,7 @@
         })
     }
 
-    pub fn read(&self, now: u64, owner: &str, key: u8) -> Option<Entry> {
+    pub(crate) fn read(&self, now: u64, owner: &str, key: u8) -> Option<Entry> {
         let w = self.written(now, owner, key)?;
         Some(Entry {
             value: w.value,
@@ -90,7 +90,7 @@
     }
 
     /// The owners and keys from some place on, round about: what a digest tells of.
-    pub fn versions(&self, from: usize, most: usize) -> Vec<(String, u8, (u64, u64, u32))> {
+    pub(crate) fn versions(&self, from: usize, most: usize) -> Vec<(String, u8, (u64, u64, u32))> {
         let all = self.held.len();
         let of = |(at, held): (&(String, u8), &Held)| (at.0.clone(), at.1, held.version);
         let begin = if all == 0 { 0 } else { from % all };
@@ -103,12 +103,12 @@
             .collect()
     }
 
-    pub fn version(&self, owner: &str, key: u8) -> Option<(u64, u64, u32)> {
+    pub(crate) fn version(&self, owner: &str, key: u8) -> Option<(u64, u64, u32)> {
         self.held.get(&(owner.to_owned(), key)).map(|h| h.version)
     }
 
     /// Forgets all of an owner.
-    pub fn forget(&mut self, owner: &str) {
+    pub(crate) fn forget(&mut self, owner: &str) {
         self.held.retain(|(of, _), _| of != owner);
     }
 }
--- a/crates/membership/src/budget.rs
+++ b/crates/membership/src/budget.rs
@@ -11,7 +11,7 @@
 const SECOND: f64 = 1e9;
 
 impl Budget {
-    pub fn new(rate: f64, now: u64) -> Budget {
+    pub(crate) fn new(rate: f64, now: u64) -> Budget {
         Budget {
             rate,
             held: rate,
@@ -20,7 +20,7 @@
     }
 
     /// Takes `n` if `spare` a second's worth stays; false if there is too little.
-    pub fn take(&mut self, now: u64, n: f64, spare: f64) -> bool {
+    pub(crate) fn take(&mut self, now: u64, n: f64, spare: f64) -> bool {
         let past = now.saturating_sub(self.at) as f64 / SECOND;
         (self.held, self.at) = (
             (self.held + past * self.rate).min(self.rate),
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`Peers`]: probes, suspicion, refutation, rejoining, own standing;
 //! - [`Entry`]: what a member has on the board, with its age;
 //! - [`wire`]: datagrams, keyed and versioned.
+#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 mod board;
--- a/crates/membership/src/peers.rs
+++ b/crates/membership/src/peers.rs
@@ -269,7 +269,10 @@
         if self.replaced || self.left {
             return u64::MAX;
         }
-        let probe = self.probe.as_ref().map_or(self.probe_at, |p| p.next());
+        let probe = self
+            .probe
+            .as_ref()
+            .map_or(self.probe_at, probe::Probe::next);
         let suspicion = |name| self.others.get(name).and_then(|k| k.suspicion.as_ref());
         let suspects = self
             .suspects
--- a/crates/membership/src/peers/hear.rs
+++ b/crates/membership/src/peers/hear.rs
@@ -1,5 +1,8 @@
 //! What is heard: whose datagrams count, what they tell of others, and what they tell of us.
-use super::*;
+use super::{
+    Budget, Change, Item, Known, Output, Peers, Standing, Standpoint, State, Suspicion, CONFLICTS,
+    CONTESTED, SETTLED,
+};
 use crate::wire::{self, Body, News};
 
 /// What one member may ask of us a second.
--- a/crates/membership/src/peers/probe.rs
+++ b/crates/membership/src/peers/probe.rs
@@ -1,5 +1,5 @@
 //! Probes: directly, then by helpers; who answers neither way is suspected, and gone if it does not refute in time.
-use super::*;
+use super::{Item, Output, Peers, Standing, Standpoint, State, SECOND};
 use crate::wire::Body;
 
 #[derive(Clone)]
@@ -15,7 +15,7 @@
 }
 
 impl Probe {
-    pub fn next(&self) -> u64 {
+    pub(super) fn next(&self) -> u64 {
         if self.direct > 0 && !self.acked {
             self.direct
         } else {
--- a/crates/membership/src/peers/spread.rs
+++ b/crates/membership/src/peers/spread.rs
@@ -1,5 +1,7 @@
 //! What goes out: news and entries on every datagram, the least told first, within the budget.
-use super::*;
+#[cfg(test)]
+use super::Standpoint;
+use super::{Known, Output, Peers, State, FORGET, MILLISECOND, SECOND};
 use crate::board::Written;
 use crate::wire::{Body, Builder, Head, News};
 
--- a/crates/membership/src/standing.rs
+++ b/crates/membership/src/standing.rs
@@ -31,12 +31,12 @@
 
 impl Health {
     /// Times are multiplied by this.
-    pub fn scale(&self) -> u64 {
+    pub(crate) fn scale(&self) -> u64 {
         u64::from(1 + self.worse)
     }
 
     /// A probe came out.
-    pub fn probed(&mut self, answered: bool) {
+    pub(crate) fn probed(&mut self, answered: bool) {
         self.heard.push_back(answered);
         while self.heard.len() > KEPT {
             self.heard.pop_front();
@@ -48,19 +48,19 @@
 
     /// Something tells that it is we who are slow: a helper did not even say that it could not reach another, or we had to
     /// refute a suspicion.
-    pub fn worsen(&mut self) {
+    pub(crate) fn worsen(&mut self) {
         self.worse = (self.worse + 1).min(WORST);
     }
 
     /// We stood still until now; for a while what we did not hear says nothing of others.
-    pub fn stood_still(&mut self, until: u64) {
+    pub(crate) fn stood_still(&mut self, until: u64) {
         self.late_until = until;
         self.heard.clear();
         self.worse = self.worse.max(2);
     }
 
     /// `others`: members to be heard.
-    pub fn standing(&self, now: u64, others: usize) -> Standing {
+    pub(crate) fn standing(&self, now: u64, others: usize) -> Standing {
         let silent = self.heard.iter().filter(|heard| !**heard).count();
         match () {
             () if others == 0 => Standing::Alone,
--- a/crates/membership/src/suspicion.rs
+++ b/crates/membership/src/suspicion.rs
@@ -18,7 +18,7 @@
 impl Suspicion {
     /// Suspected since `now` by `by`, one of `alive` members that probe each `every` nanoseconds. Danger: a fixed time is too
     /// long where all see the death and too short where one front alone is deaf (Lifeguard's dynamic suspicion).
-    pub fn new(now: u64, by: &str, alive: usize, every: u64) -> Suspicion {
+    pub(crate) fn new(now: u64, by: &str, alive: usize, every: u64) -> Suspicion {
         let scale = (alive.max(1) as f64).log10().max(1.0);
         let needed = ENOUGH.min(u32::try_from(alive.saturating_sub(2)).unwrap_or(ENOUGH));
         let shortest = 4.0 * scale * every as f64;
@@ -31,12 +31,12 @@
     }
 
     /// Another member says so; true if it had not before.
-    pub fn confirm(&mut self, by: &str) -> bool {
+    pub(crate) fn confirm(&mut self, by: &str) -> bool {
         self.by.len() <= self.needed as usize && self.by.insert(by.to_owned())
     }
 
     /// When it counts as gone.
-    pub fn until(&self) -> u64 {
+    pub(crate) fn until(&self) -> u64 {
         let longest = PATIENCE * self.shortest;
         let confirmed = (self.by.len() as f64 - 1.0).max(0.0);
         let part = if self.needed == 0 {
@@ -49,7 +49,7 @@
     }
 
     /// We stood still: nobody could refute meanwhile, as far as we would have heard.
-    pub fn put_off(&mut self, by: u64) {
+    pub(crate) fn put_off(&mut self, by: u64) {
         self.since = self.since.saturating_add(by);
     }
 }
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -92,7 +92,7 @@
 pub(crate) struct Builder(Vec<u8>);
 
 impl Builder {
-    pub fn new(head: &Head, body: &Body) -> Builder {
+    pub(crate) fn new(head: &Head, body: &Body) -> Builder {
         let mut bytes = Vec::with_capacity(256);
         bytes.extend(MARK);
         bytes.push(VERSION);
@@ -120,15 +120,15 @@
         true
     }
 
-    pub fn news(&mut self, news: &News) -> bool {
+    pub(crate) fn news(&mut self, news: &News) -> bool {
         self.section(NEWS, news)
     }
 
-    pub fn entry(&mut self, entry: &Written) -> bool {
+    pub(crate) fn entry(&mut self, entry: &Written) -> bool {
         self.section(ENTRY, entry)
     }
 
-    pub fn finish(mut self, key: &[u8; 16]) -> Vec<u8> {
+    pub(crate) fn finish(mut self, key: &[u8; 16]) -> Vec<u8> {
         let sum = checksum(key, &self.0[HEADER..]);
         self.0[3..HEADER].copy_from_slice(&sum.to_le_bytes());
         self.0
--- a/crates/membership/tests/fleet.rs
+++ b/crates/membership/tests/fleet.rs
@@ -234,7 +234,7 @@
     net.run(3 * SECOND);
     let old = std::mem::take(&mut net.copies);
     net.keep_copies = false;
-    net.tell(4, |p, now, out| p.leave(now, out));
+    net.tell(4, crankpaddle_membership::Peers::leave);
     net.kill(4);
     let others: Vec<usize> = all(20).into_iter().filter(|i| *i != 4).collect();
     let took = net.until(20 * SECOND, |net| net.all(&others, &[4], State::Left));
@@ -401,7 +401,7 @@
     assert!(took.is_some());
 
     for i in 15..40 {
-        net.tell(i, |p, now, out| p.leave(now, out));
+        net.tell(i, crankpaddle_membership::Peers::leave);
         net.kill(i);
         net.run(300 * MS);
     }
--- a/crates/net/src/runtime.rs
+++ b/crates/net/src/runtime.rs
@@ -123,7 +123,7 @@
 
 impl Turns {
     /// Something was done without waiting for it.
-    pub fn took(&mut self) {
+    pub(crate) fn took(&mut self) {
         self.0 += 1;
         if self.0 >= IN_A_ROW {
             sleep(SHORTEST);
@@ -132,7 +132,7 @@
     }
 
     /// It was waited for: others ran.
-    pub fn waited(&mut self) {
+    pub(crate) fn waited(&mut self) {
         self.0 = 0;
     }
 }
--- a/crates/net/tests/connect.rs
+++ b/crates/net/tests/connect.rs
@@ -85,7 +85,10 @@
     let held: Vec<_> = (0..8)
         .map(|_| std::net::TcpStream::connect_timeout(&address, Duration::from_millis(50)))
         .collect();
-    assert!(held.iter().any(|h| h.is_err()), "the queue is full");
+    assert!(
+        held.iter().any(std::result::Result::is_err),
+        "the queue is full"
+    );
     in_many(move |n| {
         if n == 0 {
             let begun = Instant::now();
--- a/crates/node-protocol/src/lib.rs
+++ b/crates/node-protocol/src/lib.rs
@@ -8,6 +8,7 @@
 //! The two decoders are incremental: they are fed what a socket gives, hold what is not whole yet, and never more than
 //! [`MOST`] bytes of it, whatever length a peer claims. After a fault a stream is of no use: nothing behind it can be
 //! trusted to begin where it seems to.
+#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 pub mod config;
--- a/crates/node-protocol/src/viewers.rs
+++ b/crates/node-protocol/src/viewers.rs
@@ -221,7 +221,7 @@
                 "top" => {
                     ask.top = small(value)
                         .and_then(|top| u8::try_from(top).ok())
-                        .ok_or("top")?
+                        .ok_or("top")?;
                 }
                 "viewer" => ask.viewer = hex(value).ok_or("viewer")?,
                 "again" => ask.again |= flag(Some(value)).ok_or("again")?,
--- a/crates/node/examples/platform.rs
+++ b/crates/node/examples/platform.rs
@@ -2,7 +2,7 @@
 //! loopback. Prints the node's configuration and stays in the foreground.
 #[path = "../tests/rig/mod.rs"]
 mod rig;
-use rig::*;
+use rig::{configuration, lines, session_of, stands, Directory, Server, Told};
 use std::io::Write;
 
 fn main() -> std::io::Result<()> {
--- a/crates/node/src/budget.rs
+++ b/crates/node/src/budget.rs
@@ -21,7 +21,7 @@
 }
 
 impl Budget {
-    pub fn new(limits: &Limits) -> Budget {
+    pub(crate) fn new(limits: &Limits) -> Budget {
         let free = limits.sockets.saturating_sub(OWN).max(4);
         let memory = usize::try_from(limits.memory_mb)
             .unwrap_or(usize::MAX)
--- a/crates/node/src/crowd.rs
+++ b/crates/node/src/crowd.rs
@@ -27,7 +27,7 @@
 }
 
 impl Conn {
-    pub fn new(id: ConnId, outbox: Outbox, now: u64) -> Conn {
+    pub(crate) fn new(id: ConnId, outbox: Outbox, now: u64) -> Conn {
         Conn {
             id,
             outbox,
@@ -41,7 +41,7 @@
     }
 
     /// What is written until then is of use; it never gets shorter.
-    pub fn owe_until(&self, until: u64) {
+    pub(crate) fn owe_until(&self, until: u64) {
         self.owed_until.fetch_max(until, Ordering::Relaxed);
     }
 
@@ -62,7 +62,7 @@
     /// Danger: closing for want of room and leaving each looked at set-ups that had been heard only; one that was read and lay in
     /// the queue, or whose answer a slow reader had not taken, was lost. `unread`: whether to look at what was not read, or not
     /// heard, too.
-    pub fn owes(&self, now: u64, unread: bool) -> bool {
+    pub(crate) fn owes(&self, now: u64, unread: bool) -> bool {
         let answers = now < self.owed_until.load(Ordering::Relaxed) && !self.outbox.is_empty();
         let open = self.open.load(Ordering::Acquire) > 0;
         !self.outbox.socket().is_shut()
@@ -71,7 +71,7 @@
 
     /// When a message that begins now must be whole. Danger: closed amid it, the connection would take with it the set-ups that
     /// wait for their answers there; these come first.
-    pub fn whole_by(&self, now: u64, within: u64) -> u64 {
+    pub(crate) fn whole_by(&self, now: u64, within: u64) -> u64 {
         let from = if self.is_asked() {
             now.max(self.owed_until.load(Ordering::Relaxed))
         } else {
@@ -91,7 +91,7 @@
 }
 
 impl Viewers {
-    pub fn new(most: usize) -> Viewers {
+    pub(crate) fn new(most: usize) -> Viewers {
         let (taken, last) = (AtomicUsize::new(0), AtomicU64::new(0));
         Viewers {
             most,
@@ -106,28 +106,28 @@
         self.conns.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub fn count(&self) -> usize {
+    pub(crate) fn count(&self) -> usize {
         self.conns().len()
     }
 
     /// A number that no connection had.
-    pub fn next(&self) -> ConnId {
+    pub(crate) fn next(&self) -> ConnId {
         ConnId(self.last.fetch_add(1, Ordering::Relaxed) + 1)
     }
 
     /// A connection is there.
-    pub fn enter(&self, conn: &Arc<Conn>) {
+    pub(crate) fn enter(&self, conn: &Arc<Conn>) {
         self.conns().insert(conn.id, conn.clone());
     }
 
     /// It is gone.
-    pub fn leave(&self, id: ConnId) {
+    pub(crate) fn leave(&self, id: ConnId) {
         self.conns().remove(&id);
     }
 
     /// Takes the place of one more; false if there is none, and then the connection of least use is closed, so that there soon is.
     /// What was taken is given back by [`Viewers::give_back`], also where there was none.
-    pub fn take(&self) -> bool {
+    pub(crate) fn take(&self) -> bool {
         let room = self.taken.fetch_add(1, Ordering::AcqRel) < self.most;
         self.full.store(!room, Ordering::Release);
         if !room {
@@ -137,13 +137,13 @@
     }
 
     /// Whether anything is owed on any of them, or may be by those that wait to be accepted where there is no room.
-    pub fn owe(&self, now: u64, unread: bool) -> bool {
+    pub(crate) fn owe(&self, now: u64, unread: bool) -> bool {
         unread && self.full.load(Ordering::Acquire)
             || self.conns().values().any(|c| c.owes(now, unread))
     }
 
     /// A place is free again.
-    pub fn give_back(&self) {
+    pub(crate) fn give_back(&self) {
         self.taken.fetch_sub(1, Ordering::AcqRel);
     }
 
--- a/crates/node/src/crowd/tests.rs
+++ b/crates/node/src/crowd/tests.rs
@@ -8,7 +8,7 @@
     crankpaddle_net::start(Some(1));
     let (address, (give, given)) = (listener.local_addr().unwrap(), std::sync::mpsc::channel());
     spawn(Stack::Usual, move || {
-        drop(give.send(Socket::connect(&address, Duration::from_secs(20))))
+        drop(give.send(Socket::connect(&address, Duration::from_secs(20))));
     });
     let socket = given
         .recv_timeout(Duration::from_secs(30))
@@ -52,7 +52,7 @@
     rustix::net::sockopt::set_socket_recv_buffer_size(listener, 1024).unwrap();
     let (address, (give, given)) = (listener.local_addr().unwrap(), std::sync::mpsc::channel());
     spawn(Stack::Usual, move || {
-        drop(give.send(Socket::connect(&address, Duration::from_secs(20))))
+        drop(give.send(Socket::connect(&address, Duration::from_secs(20))));
     });
     let (peer, _) = listener.accept().unwrap();
     let socket = given
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -39,7 +39,7 @@
 
 impl Health {
     /// A server that was heard `now`; `note_every`: time between its notes, 0 where there are none.
-    pub fn new(now: u64, note_every: u64) -> Health {
+    pub(crate) fn new(now: u64, note_every: u64) -> Health {
         let notes = if note_every == 0 {
             USUAL_NOTES
         } else {
@@ -54,22 +54,22 @@
     }
 
     /// Something came from it.
-    pub fn heard(&mut self, now: u64) {
+    pub(crate) fn heard(&mut self, now: u64) {
         (self.heard, self.misses) = (now, 0);
     }
 
     /// The first session begins to stand here: nothing was to be heard before.
-    pub fn begins(&mut self, now: u64) {
+    pub(crate) fn begins(&mut self, now: u64) {
         self.heard = self.heard.max(now);
     }
 
     /// Whether to connect, so as to hear of the sessions that stand there. `up`: there is a connection.
-    pub fn wants_dial(&self, now: u64, up: bool) -> bool {
+    pub(crate) fn wants_dial(&self, now: u64, up: bool) -> bool {
         now >= self.pause && (!up || now.saturating_sub(self.heard) > self.bound)
     }
 
     /// A connect came out; true if the sessions there are lost.
-    pub fn dialed(&mut self, now: u64, how: Dialed) -> bool {
+    pub(crate) fn dialed(&mut self, now: u64, how: Dialed) -> bool {
         match how {
             Dialed::Up => {
                 self.heard(now);
--- a/crates/node/src/hub/callers.rs
+++ b/crates/node/src/hub/callers.rs
@@ -1,5 +1,9 @@
 //! What viewers say and are told.
-use super::*;
+use super::{
+    cause, clock, count, viewers, Answer, Ask, Call, ConnId, Hub, Input, Message, Notice, Open,
+    Ordering, OverReason, PlayerId, Refusal, Session, Tag, Time, LEFT_SLACK, MILLISECOND,
+    RELEASE_FOR,
+};
 
 impl Hub {
     pub(super) fn viewer(&mut self, conn: ConnId, message: Message, read: u64) {
--- a/crates/node/src/hub/leave.rs
+++ b/crates/node/src/hub/leave.rs
@@ -3,7 +3,10 @@
 //! An attempt that the module decides on joins those that are to leave; so does one whose connection came about. They leave after
 //! all that was heard has been decided on, each looked at right before: whether its viewer still waits, as far as the kernel
 //! knows, and whether the module still lets it go.
-use super::*;
+use super::{
+    clock, rtsp, AttemptId, Hub, Input, LinkId, Live, Order, Ordering, Outcome, Peer, Report,
+    ServerId, SetUp, Tag, Time, MILLISECOND, MOST_LINKS, MOST_TRIES,
+};
 
 /// An attempt that is to leave.
 pub(super) struct Leaving {
--- a/crates/node/src/hub/list.rs
+++ b/crates/node/src/hub/list.rs
@@ -1,5 +1,8 @@
 //! The directory's list in the module's terms.
-use super::*;
+use super::{
+    clock, BTreeMap, Entry, HashMap, Health, Hub, Input, List, Listing, Phase, RosterKind, Server,
+    ServerId, State, Time, VecDeque, MILLISECOND,
+};
 
 impl Hub {
     pub(super) fn list(&mut self, list: List, kind: RosterKind) {
--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -141,7 +141,7 @@
 }
 
 impl Hub {
-    pub fn new(shared: Arc<Shared>, tap: Option<Tap>) -> Hub {
+    pub(crate) fn new(shared: Arc<Shared>, tap: Option<Tap>) -> Hub {
         let config = &shared.config;
         let mut core = Core::new(
             config.fleet.settings.clone(),
@@ -179,7 +179,7 @@
     }
 
     /// Runs until the node has ended.
-    pub fn run(mut self, inbox: &Receiver<Msg>) {
+    pub(crate) fn run(mut self, inbox: &Receiver<Msg>) {
         let mut house = clock::now() + KEEP_HOUSE;
         let (mut tell, mut beliefs) = (clock::now() + TELL_COUNTS, clock::now());
         while !self.has_ended() {
--- a/crates/node/src/hub/said.rs
+++ b/crates/node/src/hub/said.rs
@@ -1,5 +1,8 @@
 //! What servers say.
-use super::*;
+use super::{
+    cause, clock, count, cseq, rtsp, AttemptId, Hub, Input, Kind, LinkId, Live, Msg, Note, Outcome,
+    Report, ServerId, SetUp, Tag,
+};
 
 impl Hub {
     pub(super) fn server(&mut self, id: LinkId, message: &rtsp::Message) {
--- a/crates/node/src/hub/servers.rs
+++ b/crates/node/src/hub/servers.rs
@@ -1,5 +1,8 @@
 //! Links to servers: where a set-up is written, and what becomes of it when they break.
-use super::*;
+use super::{
+    cause, clock, links, rtsp, Arc, AttemptId, Dialed, Hub, Input, Link, LinkId, Live, Outbox,
+    Outcome, PlayerId, Report, ServerId, SetUp, Time, ABANDONED_FOR, RELEASE_FOR,
+};
 
 impl Link {
     /// Whether it came up and stands, as far as the kernel knows.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,14 +1,14 @@
 //! The front node: the session front's core on the platform's sockets.
 //!
-//! One coroutine, the [`hub`], owns the core and is the only one that hears and acts; all others read one socket each,
+//! One coroutine, the `hub`, owns the core and is the only one that hears and acts; all others read one socket each,
 //! tell the hub what they read and send what it gives them. Which server, rung, retry, refusal and advice is said by
 //! the decision module behind [`crankpaddle_front::Core`]; nothing here chooses any of them.
 //!
-//! - [`viewers`]: the listener and the viewers' connections;
-//! - [`links`]: connections to servers;
-//! - [`poller`]: the directory;
-//! - [`health`]: what a server's silence says of the sessions there, pure;
-//! - [`budget`]: what the machine's limits leave for each of them, pure.
+//! - `viewers`: the listener and the viewers' connections;
+//! - `links`: connections to servers;
+//! - `poller`: the directory;
+//! - `health`: what a server's silence says of the sessions there, pure;
+//! - `budget`: what the machine's limits leave for each of them, pure.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 mod budget;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -80,7 +80,7 @@
 const SWEEP: Duration = Duration::from_millis(100);
 
 impl Shared {
-    pub fn new(config: Config) -> (Arc<Shared>, Receiver<Msg>) {
+    pub(crate) fn new(config: Config) -> (Arc<Shared>, Receiver<Msg>) {
         let (inbox, receiver) = channel();
         let budget = Budget::new(&config.limits);
         let shared = Shared {
@@ -99,25 +99,25 @@
         (Arc::new(shared), receiver)
     }
 
-    pub fn tell(&self, msg: Msg) {
+    pub(crate) fn tell(&self, msg: Msg) {
         let _ = self.inbox.send(msg); // The hub may have ended.
     }
 
-    pub fn nameserver(&self) -> SocketAddr {
+    pub(crate) fn nameserver(&self) -> SocketAddr {
         *self
             .nameserver
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub fn set_nameserver(&self, address: SocketAddr) {
+    pub(crate) fn set_nameserver(&self, address: SocketAddr) {
         *self
             .nameserver
             .lock()
             .unwrap_or_else(PoisonError::into_inner) = address;
     }
 
-    pub fn counts(&self) -> Counts {
+    pub(crate) fn counts(&self) -> Counts {
         Counts {
             waiting: self.waiting.load(Ordering::Relaxed),
             playing: self.playing.load(Ordering::Relaxed),
--- a/crates/node/tests/events.rs
+++ b/crates/node/tests/events.rs
@@ -1,4 +1,5 @@
 //! What the decision module hears: from sockets the same, in the same order, as on the simulator's wire.
+#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 mod rig;
 use crankpaddle::{Event, LoadField, RequestId, RosterKind};
 use crankpaddle_node_protocol::rtsp;
--- a/crates/node/tests/rig/mod.rs
+++ b/crates/node/tests/rig/mod.rs
@@ -22,18 +22,18 @@
 use std::time::{Duration, Instant};
 
 /// Nothing that is waited for takes longer, however busy the machine is.
-pub const LONG: Duration = Duration::from_secs(20);
+pub(crate) const LONG: Duration = Duration::from_secs(20);
 
 /// What a server heard, on its connection of this number.
 #[derive(Debug)]
-pub enum Heard {
+pub(crate) enum Heard {
     Opened(usize),
     Said(usize, Message),
     Closed(usize),
 }
 
 /// A stand-in server.
-pub struct Server {
+pub(crate) struct Server {
     pub name: String,
     pub address: SocketAddr,
     conns: Arc<Mutex<Vec<TcpStream>>>,
@@ -49,11 +49,11 @@
 }
 
 impl Server {
-    pub fn start(number: u32) -> Server {
+    pub(crate) fn start(number: u32) -> Server {
         Server::start_at(number, SocketAddr::from(([127, 0, 0, 1], 0)))
     }
 
-    pub fn start_at(number: u32, address: SocketAddr) -> Server {
+    pub(crate) fn start_at(number: u32, address: SocketAddr) -> Server {
         let listener = listen(address);
         let address = listener.local_addr().expect("bound");
         let (tell, heard) = channel();
@@ -110,7 +110,7 @@
     }
 
     /// What was said first with this method, if anything was.
-    pub fn look_for(&self, method: &str) -> Option<(usize, Message)> {
+    pub(crate) fn look_for(&self, method: &str) -> Option<(usize, Message)> {
         self.look(|heard| match heard {
             Heard::Said(conn, message) if matches!(&message.kind, Kind::Request(m, _) if m == method) => {
                 Some((*conn, message.clone()))
@@ -120,7 +120,7 @@
     }
 
     /// Waits until a connection was opened that was not waited for yet; its number.
-    pub fn opened(&self) -> usize {
+    pub(crate) fn opened(&self) -> usize {
         let mut found = None;
         wait("the node connects", || {
             found = self.look(|heard| {
@@ -136,7 +136,7 @@
     }
 
     /// What was said first with this method, and on which connection.
-    pub fn said(&self, method: &str) -> (usize, Message) {
+    pub(crate) fn said(&self, method: &str) -> (usize, Message) {
         let mut found = None;
         wait(method, || {
             found = self.look_for(method);
@@ -146,29 +146,29 @@
     }
 
     /// Everything heard and not taken until now, without waiting.
-    pub fn rest(&self) -> Vec<Heard> {
+    pub(crate) fn rest(&self) -> Vec<Heard> {
         let mut held = self.held.borrow_mut();
         held.extend(self.heard.try_iter());
         held.drain(..).collect()
     }
 
-    pub fn send(&self, conn: usize, bytes: &[u8]) {
+    pub(crate) fn send(&self, conn: usize, bytes: &[u8]) {
         let mut stream = &self.conns.lock().expect("unpoisoned")[conn];
         stream.write_all(bytes).expect("the node reads");
     }
 
-    pub fn try_send(&self, conn: usize, bytes: &[u8]) -> bool {
+    pub(crate) fn try_send(&self, conn: usize, bytes: &[u8]) -> bool {
         let mut stream = &self.conns.lock().expect("unpoisoned")[conn];
         stream.write_all(bytes).is_ok()
     }
 
-    pub fn close(&self, conn: usize) {
+    pub(crate) fn close(&self, conn: usize) {
         let _ = self.conns.lock().expect("unpoisoned")[conn].shutdown(Shutdown::Both);
     }
 
     /// The machine vanishes: what is open stays open and silent, and no new connection comes up. The connections that fill
     /// the listener's queue must be kept for as long.
-    pub fn vanish(&self) -> Vec<TcpStream> {
+    pub(crate) fn vanish(&self) -> Vec<TcpStream> {
         self.vanished.store(true, Ordering::Release);
         let _ = TcpStream::connect(self.address); // Wakes the listener, which takes nothing more.
         let short = Duration::from_millis(100);
@@ -176,24 +176,24 @@
     }
 
     /// A machine that vanished accepts connections again.
-    pub fn is_back(&self) {
+    pub(crate) fn is_back(&self) {
         self.vanished.store(false, Ordering::Release);
         self.listener.unpark();
     }
 
     /// A machine that vanished is gone for good; another may listen at its address.
-    pub fn leaves(&self) {
+    pub(crate) fn leaves(&self) {
         self.deaf.store(true, Ordering::Release);
         self.is_back();
     }
 
     /// Whether any set-up was heard that was not taken.
-    pub fn heard_set_up(&self) -> bool {
+    pub(crate) fn heard_set_up(&self) -> bool {
         self.look_for("SETUP").is_some()
     }
 
     /// The process dies: nobody listens any more and connections end.
-    pub fn die(&self) {
+    pub(crate) fn die(&self) {
         self.deaf.store(true, Ordering::Release);
         let _ = TcpStream::connect(self.address); // Wakes the listener, which ends.
         for conn in self.conns.lock().expect("unpoisoned").iter() {
@@ -216,17 +216,17 @@
     }
 }
 
-pub fn response(status: u16, cseq: u32, tag: Tag, headers: &str, body: &str) -> Vec<u8> {
+pub(crate) fn response(status: u16, cseq: u32, tag: Tag, headers: &str, body: &str) -> Vec<u8> {
     let length = body.len();
     format!("RTSP/1.0 {status} X\r\nCSeq: {cseq}\r\nSession: {tag}\r\n{headers}Content-Length: {length}\r\n\r\n{body}")
         .into_bytes()
 }
 
-pub fn stands(tag: Tag, body: &str) -> Vec<u8> {
+pub(crate) fn stands(tag: Tag, body: &str) -> Vec<u8> {
     response(200, 1, tag, "", body)
 }
 
-pub fn note(tag: Tag, name: &str, figure: f64) -> Vec<u8> {
+pub(crate) fn note(tag: Tag, name: &str, figure: f64) -> Vec<u8> {
     format!(
         "ANNOUNCE rtsp://media/x RTSP/1.0\r\nCSeq: 9\r\nSession: {tag}\r\nX-Note: {name}\r\nFigure: {figure}\r\n\
          Content-Length: 0\r\n\r\n"
@@ -234,13 +234,13 @@
     .into_bytes()
 }
 
-pub fn session_of(message: &Message) -> Tag {
+pub(crate) fn session_of(message: &Message) -> Tag {
     message.session.expect("a session")
 }
 
 /// One line of the directory: id, address, zone, kind, priority, start.
 #[derive(Clone, Debug)]
-pub struct Line {
+pub(crate) struct Line {
     pub name: String,
     pub address: SocketAddr,
     pub zone: String,
@@ -250,7 +250,7 @@
 }
 
 #[derive(Clone, Debug)]
-pub struct Told {
+pub(crate) struct Told {
     pub serial: u32,
     pub lines: Vec<Line>,
     /// Answers with a failure, a cut, an older list or nothing instead.
@@ -258,7 +258,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Spoilt {
+pub(crate) enum Spoilt {
     Failure,
     Truncated,
     OtherId,
@@ -268,14 +268,14 @@
 }
 
 /// A stand-in directory.
-pub struct Directory {
+pub(crate) struct Directory {
     pub address: SocketAddr,
     told: Arc<Mutex<Told>>,
     asked: Arc<AtomicU64>,
 }
 
 impl Directory {
-    pub fn start(told: Told) -> Directory {
+    pub(crate) fn start(told: Told) -> Directory {
         let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
         let address = socket.local_addr().expect("bound");
         let told = Arc::new(Mutex::new(told));
@@ -310,16 +310,16 @@
         }
     }
 
-    pub fn tell(&self, change: impl FnOnce(&mut Told)) {
+    pub(crate) fn tell(&self, change: impl FnOnce(&mut Told)) {
         change(&mut self.told.lock().expect("unpoisoned"));
     }
 
-    pub fn asked(&self) -> u64 {
+    pub(crate) fn asked(&self) -> u64 {
         self.asked.load(Ordering::Acquire)
     }
 
     /// Waits until it was asked so many times more.
-    pub fn wait_asked(&self, more: u64) {
+    pub(crate) fn wait_asked(&self, more: u64) {
         let until = self.asked() + more;
         wait("the directory is asked", || self.asked() >= until);
     }
@@ -370,7 +370,7 @@
 }
 
 /// Waits for something that needs no signal of its own, looking again and again, within a bound.
-pub fn wait(what: &str, mut holds: impl FnMut() -> bool) {
+pub(crate) fn wait(what: &str, mut holds: impl FnMut() -> bool) {
     wait_or(|| what.to_owned(), &mut holds);
 }
 
@@ -383,17 +383,17 @@
 }
 
 /// A node among stand-ins. The first class is free, the second is paid.
-pub struct Rig {
+pub(crate) struct Rig {
     pub node: Arc<Node>,
     pub servers: Vec<Server>,
     pub directory: Directory,
     pub config: Value,
 }
 
-pub const FREE: &str = "preview";
-pub const PAID: &str = "licensed-view";
+pub(crate) const FREE: &str = "preview";
+pub(crate) const PAID: &str = "licensed-view";
 
-pub fn settings(note_every: u64) -> Value {
+pub(crate) fn settings(note_every: u64) -> Value {
     let class = |name: &str, semantics: &str| json!({"name": name, "aim": 10_000_000_000u64, "deadline": 30_000_000_000u64, "semantics": semantics, "worth": 1.0});
     json!({"index": 0, "siblings": 1, "az": 0, "azs": ["east"], "kinds": ["std"], "discovery": "push",
         "services": [class(FREE, "free"), class(PAID, "single_shot")],
@@ -407,7 +407,7 @@
 }
 
 /// A node's configuration, on a port of the system's.
-pub fn configuration(servers: &[Server], directory: &Directory) -> Value {
+pub(crate) fn configuration(servers: &[Server], directory: &Directory) -> Value {
     let instance = |s: &Server| {
         json!({"instanceId": s.name, "hostPort": s.address.to_string(), "zone": "east", "machineType": "std",
             "cell": 0, "lifecycle": "ready", "weight": 1, "startedAtMs": 0})
@@ -421,16 +421,20 @@
 }
 
 impl Rig {
-    pub fn start(servers: u32) -> Rig {
+    pub(crate) fn start(servers: u32) -> Rig {
         Rig::start_with(servers, |_| {})
     }
 
-    pub fn start_with(servers: u32, change: impl FnOnce(&mut Value)) -> Rig {
+    pub(crate) fn start_with(servers: u32, change: impl FnOnce(&mut Value)) -> Rig {
         Rig::start_tapped(servers, change, None)
     }
 
     /// The same, and shows what the decision module hears.
-    pub fn start_tapped(servers: u32, change: impl FnOnce(&mut Value), tap: Option<Tap>) -> Rig {
+    pub(crate) fn start_tapped(
+        servers: u32,
+        change: impl FnOnce(&mut Value),
+        tap: Option<Tap>,
+    ) -> Rig {
         let servers: Vec<Server> = (1..=servers).map(Server::start).collect();
         let directory = Directory::start(Told {
             serial: 1,
@@ -450,12 +454,12 @@
         }
     }
 
-    pub fn viewer(&self) -> Viewer {
+    pub(crate) fn viewer(&self) -> Viewer {
         Viewer::connect(self.node.address())
     }
 
     /// The set-up that some server hears next: which server, on which connection, and what.
-    pub fn set_up(&self) -> (&Server, usize, Message) {
+    pub(crate) fn set_up(&self) -> (&Server, usize, Message) {
         let mut found = None;
         wait_or(
             || {
@@ -479,7 +483,7 @@
     }
 
     /// A session that stands: its viewer's set-up, answered by the server that was asked.
-    pub fn session(&self, viewer: &mut Viewer, tag: Tag, class: &str) -> (&Server, usize) {
+    pub(crate) fn session(&self, viewer: &mut Viewer, tag: Tag, class: &str) -> (&Server, usize) {
         viewer.start(tag, class, 15_000);
         let (server, conn, message) = self.set_up();
         assert_eq!(message.session, Some(tag));
@@ -488,7 +492,7 @@
         (server, conn)
     }
 
-    pub fn idle(&self) {
+    pub(crate) fn idle(&self) {
         wait("nothing is held any more", || {
             let counts = self.node.counts();
             (counts.waiting, counts.playing, counts.entries) == (0, 0, 0)
@@ -496,7 +500,7 @@
     }
 }
 
-pub fn lines(servers: &[Server]) -> Vec<Line> {
+pub(crate) fn lines(servers: &[Server]) -> Vec<Line> {
     let line = |s: &Server| Line {
         name: s.name.clone(),
         address: s.address,
@@ -508,18 +512,18 @@
     servers.iter().map(line).collect()
 }
 
-pub fn tag(n: u64) -> Tag {
+pub(crate) fn tag(n: u64) -> Tag {
     Tag::parse(&format!("{n:016x}")).expect("16 hex digits")
 }
 
 /// A stand-in viewer's connection.
-pub struct Viewer {
+pub(crate) struct Viewer {
     stream: TcpStream,
     reader: BufReader<TcpStream>,
 }
 
 impl Viewer {
-    pub fn connect(address: SocketAddr) -> Viewer {
+    pub(crate) fn connect(address: SocketAddr) -> Viewer {
         let stream = TcpStream::connect(address).expect("the node listens");
         stream.set_read_timeout(Some(LONG)).expect("a bound");
         stream
@@ -529,34 +533,34 @@
         Viewer { stream, reader }
     }
 
-    pub fn send(&mut self, bytes: &[u8]) {
+    pub(crate) fn send(&mut self, bytes: &[u8]) {
         self.stream.write_all(bytes).expect("the node reads");
     }
 
-    pub fn try_send(&mut self, bytes: &[u8]) -> bool {
+    pub(crate) fn try_send(&mut self, bytes: &[u8]) -> bool {
         self.stream.write_all(bytes).is_ok()
     }
 
-    pub fn say(&mut self, value: &Value) {
+    pub(crate) fn say(&mut self, value: &Value) {
         self.send(format!("{value}\n").as_bytes());
     }
 
-    pub fn start(&mut self, tag: Tag, class: &str, left: u64) {
+    pub(crate) fn start(&mut self, tag: Tag, class: &str, left: u64) {
         self.say(&set_up(tag, class, &left.to_string(), ""));
     }
 
-    pub fn finish(&mut self, tag: Tag, cause: u16) {
+    pub(crate) fn finish(&mut self, tag: Tag, cause: u16) {
         self.say(&json!({"verb": "FINISH", "tag": tag.as_str(), "opts": {}, "rc": cause}));
     }
 
     /// Breaks the connection at once.
-    pub fn reset(self) {
+    pub(crate) fn reset(self) {
         rustix::net::sockopt::set_socket_linger(&self.stream, Some(Duration::ZERO))
             .expect("an option");
     }
 
     /// The next line.
-    pub fn line(&mut self) -> Value {
+    pub(crate) fn line(&mut self) -> Value {
         let mut line = String::new();
         let got = self
             .reader
@@ -567,7 +571,7 @@
     }
 
     /// Whether the connection ended without a further word.
-    pub fn ended(&mut self) -> bool {
+    pub(crate) fn ended(&mut self) -> bool {
         let mut line = Vec::new();
         match self.reader.read_until(b'\n', &mut line) {
             Ok(got) => got == 0,
@@ -576,13 +580,13 @@
     }
 
     /// A test answered: all said before on this connection was heard.
-    pub fn echo(&mut self) -> Value {
+    pub(crate) fn echo(&mut self) -> Value {
         self.say(&json!({"verb": "ECHO", "tag": "00000000000000ff", "opts": {}, "rc": 0}));
         self.line()
     }
 }
 
-pub fn set_up(tag: Tag, class: &str, left: &str, more: &str) -> Value {
+pub(crate) fn set_up(tag: Tag, class: &str, left: &str, more: &str) -> Value {
     json!({"verb": "START", "tag": tag.as_str(), "blob": format!("offer {tag}\r\n"), "opts": {"class": class,
         "left": left, "key": "7f3a9c21e0b4d655",
         "extras": format!("home:0;copies:1;top:1;viewer:00000000b4d65521{more}")}})
@@ -590,7 +594,7 @@
 
 /// Holds the node's one worker at an event that the module is about to hear, until the test lets it go on. Nothing of the node
 /// runs meanwhile, so whatever the test does then comes before whatever the node does next.
-pub struct Gate {
+pub(crate) struct Gate {
     armed: Arc<AtomicBool>,
     reached: Receiver<()>,
     go: Sender<()>,
@@ -598,7 +602,7 @@
 
 impl Gate {
     /// A gate at events of this sort; closed once, when it is armed.
-    pub fn at(sort: impl Fn(&Event) -> bool + Send + 'static) -> (Gate, Tap) {
+    pub(crate) fn at(sort: impl Fn(&Event) -> bool + Send + 'static) -> (Gate, Tap) {
         let armed = Arc::new(AtomicBool::new(false));
         let (tell, reached) = channel();
         let (go, wait) = channel();
@@ -612,18 +616,18 @@
         (Gate { armed, reached, go }, tap)
     }
 
-    pub fn arm(&self) {
+    pub(crate) fn arm(&self) {
         self.armed.store(true, Ordering::Release);
     }
 
     /// Waits until the node stands at the gate.
-    pub fn reached(&self) {
+    pub(crate) fn reached(&self) {
         self.reached
             .recv_timeout(LONG)
             .expect("the node comes to the gate");
     }
 
-    pub fn open(&self) {
+    pub(crate) fn open(&self) {
         self.go.send(()).expect("the node stands at the gate");
     }
 }
--- a/crates/node/tests/rough.rs
+++ b/crates/node/tests/rough.rs
@@ -1,4 +1,5 @@
 //! Bad clients, bad servers and a bad directory, over sockets.
+#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 mod rig;
 use rig::*;
 use serde_json::json;
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -3,7 +3,10 @@
 //! Each front splits every link into slot regions, one a rung, sized by a loss-queue model of the arrivals;
 //! it admits top-down with spill-over and raises lower sessions when slots free. Sections: beliefs about
 //! servers and links; regions; admission; raises; attempts, time-outs and refusals; guards.
-use crate::interface::*;
+use crate::interface::{
+    Action, Ask, Class, Effect, Event, Group, Leave, Listing, LoadField, Note, Outcome, Phase, Report,
+    RequestId, RosterKind, ServerId, Settings, Time,
+};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 type Out = Vec<Action>;
@@ -348,7 +351,7 @@
             Event::Playing { request, server, took, .. } => self.playing(now, request, server, took),
             Event::Note { request, server, note } => self.note(now, request, server, note, out),
             Event::Ended { request, server, outcome, closed, report, .. } => {
-                self.ended(now, (request, server), (outcome, closed, report), out)
+                self.ended(now, (request, server), (outcome, closed, report), out);
             }
             Event::Crossing { zone, class, leave } => drop(self.leaves.insert((zone, class), leave)),
             Event::Top { request, top } => self.cap(now, request, top, out),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -44,6 +44,7 @@
 //! front.handle(now, Event::Ask(ask), &mut actions);
 //! assert!(matches!(actions.last(), Some(Action::Attempt { server: ServerId(7), .. })));
 //! ```
+#![allow(clippy::struct_excessive_bools)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 mod choice;
--- a/crates/policy/tests/cold_ramp.rs
+++ b/crates/policy/tests/cold_ramp.rs
@@ -3,6 +3,7 @@
 //! In virtual time, each front with traffic of its own, some with many times the mean; a tenth of all attempts fail at once and
 //! are made again; fronts hear of the start up to 1.5 s apart, and a third of them restarts while the server warms up.
 //! `RAMP_SEEDS=200 cargo test --release --test cold_ramp -- --nocapture` prints the figures of `docs/design.md`.
+#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 mod common;
 use common::*;
 use crankpaddle::*;
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -2,13 +2,13 @@
 #![allow(dead_code)]
 use crankpaddle::*;
 
-pub const MS: u64 = 1_000_000;
-pub const SECOND: u64 = 1000 * MS;
-pub const FREE: u8 = 0;
-pub const PAID: u8 = 1;
-pub const GUARDED: u8 = 2;
+pub(crate) const MS: u64 = 1_000_000;
+pub(crate) const SECOND: u64 = 1000 * MS;
+pub(crate) const FREE: u8 = 0;
+pub(crate) const PAID: u8 = 1;
+pub(crate) const GUARDED: u8 = 2;
 
-pub fn settings() -> Settings {
+pub(crate) fn settings() -> Settings {
     let class = |effect, floor, top, rate_factor, seats| Class {
         aim: 800 * MS,
         effect,
@@ -64,17 +64,17 @@
     }
 }
 
-pub fn listing(id: u32, phase: Phase, since: Time) -> Listing {
+pub(crate) fn listing(id: u32, phase: Phase, since: Time) -> Listing {
     let cell = id as u16 - 1;
     Listing { server: ServerId(id), zone: (cell % 2) as u8, kind: 0, cell, phase, weight: 1.0, since }
 }
 
 /// Six servers with ids 1 to 6 in cells 0 to 5.
-pub fn fleet() -> Vec<Listing> {
+pub(crate) fn fleet() -> Vec<Listing> {
     (1..=6).map(|id| listing(id, Phase::Ready, Time(0))).collect()
 }
 
-pub fn ask(request: u64, class: u8, now: Time) -> Ask {
+pub(crate) fn ask(request: u64, class: u8, now: Time) -> Ask {
     Ask {
         request: RequestId(request),
         viewer: request,
@@ -88,65 +88,71 @@
     }
 }
 
-pub struct Drive {
+pub(crate) struct Drive {
     pub front: Front,
     pub now: Time,
 }
 
 impl Drive {
-    pub fn new(settings: Settings) -> Drive {
+    pub(crate) fn new(settings: Settings) -> Drive {
         let now = Time(1000 * SECOND);
         let mut drive = Drive { front: Front::new(settings, 7, now), now };
         drive.send(Event::Roster(RosterKind::Full, fleet()));
         drive
     }
 
-    pub fn send(&mut self, event: Event) -> Vec<Action> {
+    pub(crate) fn send(&mut self, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
         self.front.handle(self.now, event, &mut out);
         out
     }
 
-    pub fn wait(&mut self, time: u64) {
+    pub(crate) fn wait(&mut self, time: u64) {
         self.now = Time(self.now.0 + time);
     }
 
-    pub fn ask(&mut self, request: u64, class: u8) -> Vec<Action> {
+    pub(crate) fn ask(&mut self, request: u64, class: u8) -> Vec<Action> {
         self.send(Event::Ask(ask(request, class, self.now)))
     }
 
-    pub fn end(&mut self, request: u64, server: ServerId, outcome: Outcome, closed: bool) -> Vec<Action> {
+    pub(crate) fn end(
+        &mut self,
+        request: u64,
+        server: ServerId,
+        outcome: Outcome,
+        closed: bool,
+    ) -> Vec<Action> {
         let request = RequestId(request);
         self.send(Event::Ended { request, attempt: 0, server, outcome, closed, report: Report::new() })
     }
 
-    pub fn plays(&mut self, request: u64, server: ServerId) -> Vec<Action> {
+    pub(crate) fn plays(&mut self, request: u64, server: ServerId) -> Vec<Action> {
         self.send(Event::Playing { request: RequestId(request), attempt: 0, server, took: 100 * MS })
     }
 
-    pub fn note(&mut self, request: u64, server: ServerId, note: Note) -> Vec<Action> {
+    pub(crate) fn note(&mut self, request: u64, server: ServerId, note: Note) -> Vec<Action> {
         self.send(Event::Note { request: RequestId(request), server, note })
     }
 }
 
-pub fn attempt(actions: &[Action]) -> Option<ServerId> {
+pub(crate) fn attempt(actions: &[Action]) -> Option<ServerId> {
     actions.iter().find_map(|a| match a {
         Action::Attempt { server, .. } => Some(*server),
         _ => None,
     })
 }
 
-pub fn rung(actions: &[Action]) -> Option<u8> {
+pub(crate) fn rung(actions: &[Action]) -> Option<u8> {
     actions.iter().find_map(|a| match a {
         Action::Rung { rung, .. } => Some(*rung),
         _ => None,
     })
 }
 
-pub fn rejected(actions: &[Action]) -> bool {
+pub(crate) fn rejected(actions: &[Action]) -> bool {
     actions.iter().any(|a| matches!(a, Action::Reject { .. }))
 }
 
-pub fn failed(actions: &[Action]) -> bool {
+pub(crate) fn failed(actions: &[Action]) -> bool {
     actions.iter().any(|a| matches!(a, Action::Fail(_)))
 }
--- a/crates/policy/tests/many_fronts.rs
+++ b/crates/policy/tests/many_fronts.rs
@@ -91,7 +91,7 @@
 /// Fronts with a session each on server 1, at `rung`, long enough ago that it may be raised.
 fn playing(n: u32, rung: u8) -> Vec<Drive> {
     let mut all = fronts(n, |s| s.uplink_kb = 1e9);
-    for d in all.iter_mut() {
+    for d in &mut all {
         d.send(Event::Adopted(ask(6, FREE, d.now), ServerId(1)));
         d.note(6, ServerId(1), Note::Rung(rung));
     }
@@ -121,7 +121,7 @@
         // The link is sized for the fronts' sessions: 0.4 of it is asked, the fronts' own sessions alone.
         let link = f64::from(n) * 350.0 / 0.4;
         let mut all = playing(n, 1);
-        for d in all.iter_mut() {
+        for d in &mut all {
             let mut entry = listing(1, Phase::Ready, Time(0));
             entry.weight = link / 6000.0;
             d.send(Event::Roster(RosterKind::Delta, vec![entry]));
@@ -138,7 +138,7 @@
     for n in [2u32, 20, 200] {
         let link = f64::from(n) * 1000.0 / 1.2;
         let mut all = playing(n, 3);
-        for d in all.iter_mut() {
+        for d in &mut all {
             let mut entry = listing(1, Phase::Ready, Time(0));
             entry.weight = link / 6000.0;
             d.send(Event::Roster(RosterKind::Delta, vec![entry]));
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -1,4 +1,5 @@
 //! The six rules, each alone and all together over long odd sequences.
+#![allow(clippy::many_single_char_names, clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 mod common;
 use common::*;
 use crankpaddle::*;
@@ -401,7 +402,7 @@
                 d.send(Event::Roster(RosterKind::Delta, vec![listing(id, phase, since)]))
             }
             Step::Full => {
-                for (_, phase) in w.phases.iter_mut() {
+                for phase in w.phases.values_mut() {
                     phase.0 = Phase::Gone;
                 }
                 let list: Vec<_> =
--- a/crates/recovery/src/stages.rs
+++ b/crates/recovery/src/stages.rs
@@ -140,7 +140,7 @@
         match ended {
             Ended::InOrder => self.go(now, Stage::Normal, Evidence::EndedInOrder),
             Ended::Unknown | Ended::Killed | Ended::PowerLost => {
-                self.go(now, Stage::Settling, Evidence::Read)
+                self.go(now, Stage::Settling, Evidence::Read);
             }
         }
     }
--- a/crates/recovery/tests/crash.rs
+++ b/crates/recovery/tests/crash.rs
@@ -1,6 +1,7 @@
 //! Power lost at any moment of a paid set-up and of its recovery, up to three times: every order of what a disk, a net and a server may
 //! do. The ledger and the settling are the front's own; what is around them is a model. Each guard is taken out in turn, and must be
 //! missed.
+#![allow(clippy::struct_excessive_bools, clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 use crankpaddle_recovery::intents::Came;
 use crankpaddle_recovery::{Book, Fate, Held, Intent, Key, Ledger, Settling, Step, Verdict, Write};
 use stateright::{Checker, Model, Property};
@@ -334,7 +335,7 @@
         .join();
     let found = checker
         .discovery("nothing is sold twice")
-        .map(|path| path.into_actions());
+        .map(stateright::Path::into_actions);
     (checker.unique_state_count(), found)
 }
 
--- a/crates/session-api/src/lib.rs
+++ b/crates/session-api/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`messages`]: what results, error data and notifications hold, from which the descriptions are made;
 //! - [`answers`]: results, errors and notifications that a front sends;
 //! - [`client`]: the player's side of the same messages.
+#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 pub mod answers;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,5 +1,6 @@
 //! The settings that a front is given at its start, from JSON to the library's terms. The simulator's adapter and the
 //! front node read them with the same code, so that both decide on the same figures.
+#![allow(clippy::struct_excessive_bools, clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 use crankpaddle::{Class, Effect, Group, LoadField, Settings};
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -65,7 +65,7 @@
         wire::name_report(&mut event, values, fields);
         self.actions.clear();
         match catch_unwind(AssertUnwindSafe(|| {
-            front.handle(now, event, &mut self.actions)
+            front.handle(now, event, &mut self.actions);
         })) {
             Ok(()) => self
                 .actions
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -420,26 +420,26 @@
             ),
             Action::Rung { request, rung } => self.record(50, who, &[&id(request), &[*rung]]),
             Action::Reject { request, stay_away } => {
-                self.record(80, who, &[&id(request), &stay_away.to_le_bytes()])
+                self.record(80, who, &[&id(request), &stay_away.to_le_bytes()]);
             }
             Action::Fail(request) => self.record(40, who, &[&id(request)]),
             Action::Cancel { request, attempt } => {
-                self.record(60, who, &[&id(request), &[*attempt]])
+                self.record(60, who, &[&id(request), &[*attempt]]);
             }
             Action::Move(request) => self.record(70, who, &[&id(request)]),
             Action::Wake { at, token } => {
-                self.record(130, who, &[&at.0.to_le_bytes(), &token.to_le_bytes()])
+                self.record(130, who, &[&at.0.to_le_bytes(), &token.to_le_bytes()]);
             }
             Action::Probe(server) => self.record(110, who, &[&server.0.to_le_bytes()]),
             Action::Subscribe => self.record(140, who, &[&[1]]),
             Action::FetchRoster => self.record(20, who, &[]),
             Action::Tell(bytes) => {
                 let place = self.text(bytes);
-                self.record(90, who, &[&u32::MAX.to_le_bytes(), &place])
+                self.record(90, who, &[&u32::MAX.to_le_bytes(), &place]);
             }
             Action::Log(line) => {
                 let place = self.text(line.as_bytes());
-                self.record(30, who, &[&place])
+                self.record(30, who, &[&place]);
             }
         }
     }
--- a/crates/store/src/opening.rs
+++ b/crates/store/src/opening.rs
@@ -155,7 +155,7 @@
             }
         }
         write_version(dir).map_err(disk)?;
-        let path = file.clone();
+        let path = file;
         let again: Opener = Box::new(move |builder| builder.create(&path));
         let open = || load(dir, &again);
         let (db, kept) = match open() {
--- a/crates/store/src/tables.rs
+++ b/crates/store/src/tables.rs
@@ -96,7 +96,7 @@
                     intents.insert((key.tenant.as_str(), key.bill.as_str()), bytes.as_slice())?;
                 }
                 Write::Forget(key) => {
-                    drop(intents.remove((key.tenant.as_str(), key.bill.as_str()))?)
+                    drop(intents.remove((key.tenant.as_str(), key.bill.as_str()))?);
                 }
                 Write::Fleet(fronts) => drop(numbers.insert(FLEET, u64::from(*fronts))?),
                 Write::Ran(ran) => drop(numbers.insert(RAN, ran)?),
--- a/crates/store/src/writer.rs
+++ b/crates/store/src/writer.rs
@@ -82,7 +82,7 @@
                 let result = store.write(&writes);
                 match (&result, before.is_some()) {
                     (Ok(()), true) => {
-                        tracing::info!(dir = %store.dir().display(), "the store is written again")
+                        tracing::info!(dir = %store.dir().display(), "the store is written again");
                     }
                     (Err(e), false) => {
                         let help = miette::Diagnostic::help(e)
--- a/crates/store/tests/common/mod.rs
+++ b/crates/store/tests/common/mod.rs
@@ -6,18 +6,18 @@
 use std::io::{Error, ErrorKind};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-pub fn key(n: u64) -> Key {
+pub(crate) fn key(n: u64) -> Key {
     Key {
         tenant: format!("t{}", n % 3),
         bill: format!("{n:032x}"),
     }
 }
 
-pub fn intent(n: u64, fate: Fate) -> Intent {
+pub(crate) fn intent(n: u64, fate: Fate) -> Intent {
     Intent {
         class: "licensed-view".into(),
         server: n as u32 % 12,
@@ -29,13 +29,13 @@
 }
 
 /// What a store holds, as operators would count it.
-pub type Held = BTreeMap<Key, Intent>;
+pub(crate) type Held = BTreeMap<Key, Intent>;
 
-pub fn held(past: &Past) -> Held {
+pub(crate) fn held(past: &Past) -> Held {
     past.intents.0.iter().cloned().collect()
 }
 
-pub fn apply(held: &mut Held, writes: &[Write]) {
+pub(crate) fn apply(held: &mut Held, writes: &[Write]) {
     for write in writes {
         match write {
             Write::Keep(key, intent) => drop(held.insert(key.clone(), intent.clone())),
@@ -47,7 +47,7 @@
 
 /// What happened to a disk.
 #[derive(Clone, Debug)]
-pub enum Seen {
+pub(crate) enum Seen {
     Write(u64, Vec<u8>),
     Length(u64),
     Sync,
@@ -55,13 +55,13 @@
 
 /// A disk in memory that remembers all that was done to it.
 #[derive(Clone, Debug, Default)]
-pub struct Watched {
+pub(crate) struct Watched {
     pub bytes: Arc<Mutex<Vec<u8>>>,
     pub seen: Arc<Mutex<Vec<Seen>>>,
 }
 
 impl Watched {
-    pub fn of(bytes: Vec<u8>) -> Watched {
+    pub(crate) fn of(bytes: Vec<u8>) -> Watched {
         Watched {
             bytes: Arc::new(Mutex::new(bytes)),
             seen: Arc::default(),
@@ -102,7 +102,7 @@
     }
 }
 
-pub fn put(bytes: &mut Vec<u8>, offset: u64, data: &[u8]) {
+pub(crate) fn put(bytes: &mut Vec<u8>, offset: u64, data: &[u8]) {
     let end = offset as usize + data.len();
     if bytes.len() < end {
         bytes.resize(end, 0);
--- a/crates/store/tests/disk.rs
+++ b/crates/store/tests/disk.rs
@@ -3,6 +3,7 @@
 //! A disk keeps what was written before the last finished sync. Of what came after, any part of the sectors may be there: in order, out
 //! of order, or none. Whatever it is, a store opened on it must hold what some commit left, no older than the last that was told to
 //! be on disk.
+#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 mod common;
 use common::{apply, held, intent, key, lock, put, Held, Seen, Watched};
 use crankpaddle_recovery::{Fate, Write};
--- a/crates/store/tests/folder.rs
+++ b/crates/store/tests/folder.rs
@@ -178,7 +178,7 @@
     let (done, heard) = mpsc::channel();
     (
         Writer::start(store, move |token, result| {
-            done.send((token, result.is_ok())).unwrap()
+            done.send((token, result.is_ok())).unwrap();
         }),
         heard,
     )
--- a/crates/textproto/src/lib.rs
+++ b/crates/textproto/src/lib.rs
@@ -1,5 +1,6 @@
 //! Files in protobuf text format, checked whole: [`Checks`] reads a text by its schema, then every value is looked at,
 //! and all that is wrong is said at once, each with line, column and what is allowed.
+#![allow(clippy::missing_panics_doc)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 mod locate;
--- a/crates/textproto/src/locate.rs
+++ b/crates/textproto/src/locate.rs
@@ -66,7 +66,7 @@
 fn value(input: &mut Input<'_>) -> Result<Value> {
     let items = separated(
         0..,
-        (blank, place, value, place, blank).map(|(_, at, v, end, _)| (at, v, end)),
+        (blank, place, value, place, blank).map(|((), at, v, end, ())| (at, v, end)),
         ',',
     );
     alt((
--- a/crates/traffic-report/src/lib.rs
+++ b/crates/traffic-report/src/lib.rs
@@ -1,5 +1,6 @@
 //! Reports of traffic between halls for operators: fetched from fronts or read from what they kept, put together, and
 //! shown as a table, CSV, JSON or a plot.
+#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 mod plot;
--- a/crates/traffic/src/part.rs
+++ b/crates/traffic/src/part.rs
@@ -4,7 +4,7 @@
 //! leaves nearly all of the budget unused. Fronts hear the same servers, and a server knows the zone of the front of each
 //! session: its reports say what crosses a pair of zones in all. From that each front moves its part:
 //!
-//! - **up, slowly**, while it wants more and the reports show room: by [`GROWTH`] of the room, times its own weight
+//! - **up, slowly**, while it wants more and the reports show room: by `GROWTH` of the room, times its own weight
 //!   among all (its use, or its equal part where that is more, over all use and the budget). The weights of all fronts
 //!   are 1 in all at the most, so together they take no more than that share of the room in a step, and reports
 //!   that lag some steps do not let the sum pass the budget;
--- a/crates/traffic/tests/account.rs
+++ b/crates/traffic/tests/account.rs
@@ -32,7 +32,11 @@
         while !a.settle(1000 * SECOND + n * SECOND / 100, 1) {}
     }
     assert!(
-        near(a.total(|f| f.crosses()), 2_500_000.0, 0.0001),
+        near(
+            a.total(crankpaddle_traffic::account::Flow::crosses),
+            2_500_000.0,
+            0.0001
+        ),
         "{}",
         a.total(|_| true)
     );
@@ -245,7 +249,8 @@
         let total = account.total(|_| true);
         assert!(near(total, truth, 0.0001), "{what}: {total} of {truth}");
         let (_, sums) = account.flows().next().unwrap();
-        let told = [&sums.measured, &sums.corrected, &sums.estimated].map(|w| w.total());
+        let told = [&sums.measured, &sums.corrected, &sums.estimated]
+            .map(crankpaddle_traffic::windows::Windows::total);
         assert_eq!(told.iter().sum::<u64>() - sums.overstated, total);
         assert_eq!(
             told[2] == 0,
--- a/crates/traffic/tests/desk.rs
+++ b/crates/traffic/tests/desk.rs
@@ -278,12 +278,9 @@
         front: 8,
         ..later.clone()
     };
-    let both = together([later.clone(), earlier.clone(), other.clone()]);
+    let both = together([later.clone(), earlier.clone(), other]);
     assert_eq!(both.flows[0].bytes, 2 * later.flows[0].bytes);
-    assert_eq!(
-        together([earlier.clone(), later.clone()]).flows,
-        later.flows
-    );
+    assert_eq!(together([earlier, later.clone()]).flows, later.flows);
     assert_eq!(
         both.flows[0].hours[0].bytes,
         2 * later.flows[0].hours[0].bytes
