--- a/crates/api/src/describe.rs
+++ b/crates/api/src/describe.rs
@@ -1,4 +1,5 @@
 //! The documents, made from the codec's own types.
+use crankpaddle_cross_zone_traffic::report::TrafficReport;
 use crankpaddle_http::problem::Problem;
 use crankpaddle_session_api::answers::{FAILED, REFUSED, SUPERSEDED, UNKNOWN_SESSION};
 use crankpaddle_session_api::jsonrpc::{
@@ -9,7 +10,6 @@
 };
 use crankpaddle_session_api::methods::{Close, Open, Resume};
 use crankpaddle_session_api::Version;
-use crankpaddle_traffic::report::Report;
 use schemars::generate::SchemaSettings;
 use schemars::{JsonSchema, SchemaGenerator};
 use serde::{Deserialize, Serialize};
@@ -551,7 +551,7 @@
     let mut g = generator();
     let (health, traffic, problem) = (
         plain::<Health>(),
-        schema::<Report>(&mut g),
+        schema::<TrafficReport>(&mut g),
         plain::<Problem>(),
     );
     let members = schema::<Members>(&mut g);
--- a/crates/measure/src/account.rs
+++ b/crates/benchmark/src/account.rs
@@ -1,8 +1,10 @@
 //! What the account of traffic costs: sessions that play on a given clock, with and without it, in one process in turns.
 use crate::process::{cpu_seconds, resident};
-use crankpaddle_traffic::budget::{Place, Shared};
-use crankpaddle_traffic::crossing::Limit;
-use crankpaddle_traffic::desk::{Attempt, Class, Desk, Terms};
+use crankpaddle_cross_zone_traffic::budget::{FrontPosition, SharedBudget};
+use crankpaddle_cross_zone_traffic::cross_zone_admission::CrossZoneLimit;
+use crankpaddle_cross_zone_traffic::traffic_controller::{
+    AttemptUsage, TrafficClass, TrafficConfig, TrafficController,
+};
 use std::collections::BTreeMap;
 use std::hint::black_box;
 use std::io;
@@ -27,44 +29,44 @@
     pub rounds: usize,
 }
 
-fn desk() -> Desk {
-    let shared = Shared {
+fn desk() -> TrafficController {
+    let shared = SharedBudget {
         rate_kb: 1e9,
         burst: 1e12,
         volume: f64::INFINITY,
         period: 0,
         repay: 60 * SECOND,
     };
-    let mut desk = Desk::new(Terms {
-        place: Place {
+    let mut desk = TrafficController::new(TrafficConfig {
+        place: FrontPosition {
             index: 0,
             siblings: 1,
         },
         zone: 0,
         classes: vec![
-            Class {
+            TrafficClass {
                 paid: true,
                 kb: vec![300.0],
             },
-            Class {
+            TrafficClass {
                 paid: false,
                 kb: vec![200.0],
             },
         ],
-        limits: vec![Limit {
+        limits: vec![CrossZoneLimit {
             from: 1,
             class: None,
             shared,
         }],
         note_delay: SECOND / 2,
     });
-    (0..SERVERS).for_each(|server| desk.listed(server, (server % 2) as u8, true));
+    (0..SERVERS).for_each(|server| desk.endpoint_listed(server, (server % 2) as u8, true));
     desk
 }
 
-fn attempt(id: u64) -> Attempt {
+fn attempt(id: u64) -> AttemptUsage {
     let class = u8::from(!id.is_multiple_of(3));
-    Attempt {
+    AttemptUsage {
         id,
         number: 0,
         server: (id % u64::from(SERVERS)) as u32,
@@ -84,14 +86,14 @@
 }
 
 /// Plays sessions that begin, are counted each second and end; `desk`: the account that hears of them, if there is one.
-fn play(plan: &Plan, mut desk: Option<&mut Desk>, first: u64) -> io::Result<Round> {
+fn play(plan: &Plan, mut desk: Option<&mut TrafficController>, first: u64) -> io::Result<Round> {
     let pid = std::process::id();
     let mut round = Round::default();
     let mut sent: BTreeMap<u64, u64> = (first..first + plan.sessions).map(|id| (id, 0)).collect();
     if let Some(desk) = desk.as_deref_mut() {
         sent.keys().for_each(|id| {
-            desk.attempt(attempt(*id));
-            desk.started(*id, START);
+            desk.attempt_started(attempt(*id));
+            desk.session_established(*id, START);
         });
     }
     let before = cpu_seconds(pid)?;
@@ -100,7 +102,7 @@
         for (id, bytes) in &mut sent {
             *bytes += 200_000;
             if let Some(desk) = desk.as_deref_mut() {
-                desk.counted(*id, *bytes, now);
+                desk.bytes_counted(*id, *bytes, now);
             }
         }
         let oldest: Vec<u64> = sent
@@ -113,10 +115,10 @@
             let next = id + plan.sessions;
             sent.insert(next, 0);
             if let Some(desk) = desk.as_deref_mut() {
-                desk.ended(id, false, now);
-                desk.last_word(id, bytes, now);
-                desk.attempt(attempt(next));
-                desk.started(next, now);
+                desk.attempt_ended(id, false, now);
+                desk.final_bytes_counted(id, bytes, now);
+                desk.attempt_started(attempt(next));
+                desk.session_established(next, now);
             }
         }
         if let Some(desk) = desk.as_deref_mut() {
@@ -125,7 +127,7 @@
             round.longest_tick = round.longest_tick.max(begun.elapsed().as_secs_f64());
             loop {
                 let begun = Instant::now();
-                let complete = desk.settle(now, STEP);
+                let complete = desk.settle_usage(now, STEP);
                 round.longest_step = round.longest_step.max(begun.elapsed().as_secs_f64());
                 if complete {
                     break;
--- a/crates/measure/src/bench.rs
+++ b/crates/benchmark/src/bench.rs
@@ -1,14 +1,14 @@
 //! The measurement: front and relay in turns, against the same stand-in servers, which answer at once.
 use crate::failures::{cause_of_answer, cause_of_error, Failures};
 use crate::process::{cpu_seconds, resident};
-use crankpaddle_lab::list_service::{entry, ListService, State};
-use crankpaddle_lab::player::Client;
-use crankpaddle_lab::record::Recorder;
-use crankpaddle_lab::script::{fleet_config, front_block, FLEET};
-use crankpaddle_lab::server::{Fleet, Layout};
-use crankpaddle_net::{clock, sleep, spawn, Stack, Sweeper};
-use crankpaddle_session_api::client::{self, Said};
+use crankpaddle_net::{clock, sleep, spawn, IdleSweeper, Stack};
+use crankpaddle_session_api::client::{self, ClientEvent};
 use crankpaddle_session_api::methods::Open;
+use crankpaddle_testbed::list_service::{entry, EndpointState, ListService};
+use crankpaddle_testbed::player::Client;
+use crankpaddle_testbed::record::Recorder;
+use crankpaddle_testbed::script::{fleet_config, front_block, FLEET};
+use crankpaddle_testbed::server::{Fleet, Layout};
 use hdrhistogram::Histogram;
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
@@ -116,21 +116,22 @@
         ..Open::default()
     };
     let until = clock::now() + 10 * SECOND;
-    let hear = |client: &mut Client, text: String, wanted: &dyn Fn(&Said) -> bool| {
+    let hear = |client: &mut Client, text: String, wanted: &dyn Fn(&ClientEvent) -> bool| {
         client.send(text).map_err(|e| cause_of_error("write", &e))?;
         loop {
             match client.next(until).map_err(|e| cause_of_error("read", &e))? {
                 said if wanted(&said) => return Ok(said),
-                Said::Rung { .. } => {}
+                ClientEvent::Rung { .. } => {}
                 other => return Err(cause_of_answer(&other)),
             }
         }
     };
-    let plays = |said: &Said| matches!(said, Said::Plays { id: of, .. } if *of == id);
+    let plays = |said: &ClientEvent| matches!(said, ClientEvent::Plays { id: of, .. } if *of == id);
     let said = hear(client, client::open(id, &open), &plays)?;
     let answered = clock::now();
-    if let Said::Plays { session, .. } = said {
-        let closed = |said: &Said| matches!(said, Said::Closed { id: of } if *of == id + 1);
+    if let ClientEvent::Plays { session, .. } = said {
+        let closed =
+            |said: &ClientEvent| matches!(said, ClientEvent::Closed { id: of } if *of == id + 1);
         hear(client, client::close(id + 1, &session), &closed)?;
     }
     Ok(answered)
@@ -140,7 +141,7 @@
 fn one(
     kept: &mut Option<Client>,
     address: &SocketAddr,
-    sweeper: &Arc<Sweeper>,
+    sweeper: &Arc<IdleSweeper>,
     calls: &AtomicU64,
 ) -> Result<u64, String> {
     let mut client = match kept.take() {
@@ -153,7 +154,7 @@
 }
 
 struct Harness {
-    sweeper: Arc<Sweeper>,
+    sweeper: Arc<IdleSweeper>,
     calls: Arc<AtomicU64>,
 }
 
@@ -387,7 +388,7 @@
     let entries = fleet
         .servers
         .iter()
-        .map(|s| entry(&config, s.id, s.address, State::Ready, 0))
+        .map(|s| entry(&config, s.id, s.address, EndpointState::Ready, 0))
         .collect();
     let list = ListService::start(entries, SECOND / 10, recorder)?;
     let block = front_block(0, 1, &config.zones[0], &list.address.to_string(), "");
@@ -412,7 +413,7 @@
         Target::start(command)
     };
     let harness = Harness {
-        sweeper: Arc::new(Sweeper::start(Duration::from_millis(100))),
+        sweeper: Arc::new(IdleSweeper::start(Duration::from_millis(100))),
         calls: Arc::new(AtomicU64::new(2)),
     };
     let (front, relay) = (start_front()?, start_relay()?);
--- a/crates/measure/src/failures.rs
+++ b/crates/benchmark/src/failures.rs
@@ -1,6 +1,6 @@
 //! Set-ups of a measurement that failed, by side and cause, so that one of them does not throw a run away and many
 //! can't hide in its figures.
-use crankpaddle_session_api::client::Said;
+use crankpaddle_session_api::client::ClientEvent;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::io;
@@ -42,12 +42,12 @@
 }
 
 /// What an answer that is not the wanted one is counted under.
-pub fn cause_of_answer(said: &Said) -> String {
+pub fn cause_of_answer(said: &ClientEvent) -> String {
     match said {
-        Said::Refused { reason, .. } => format!("refused, {reason}"),
-        Said::Failed { reason, .. } => format!("failed, {reason}"),
-        Said::Error { code, .. } => format!("error {code}"),
-        Said::End { reason, .. } => format!("ended, {reason}"),
+        ClientEvent::Refused { reason, .. } => format!("refused, {reason}"),
+        ClientEvent::Failed { reason, .. } => format!("failed, {reason}"),
+        ClientEvent::Error { code, .. } => format!("error {code}"),
+        ClientEvent::End { reason, .. } => format!("ended, {reason}"),
         other => format!(
             "unexpected {}",
             format!("{other:?}")
@@ -75,7 +75,7 @@
             (0.0, "0 of 0 failed")
         );
         (0..97).for_each(|_| all.note(&Ok(())));
-        let refused = Said::Refused {
+        let refused = ClientEvent::Refused {
             id: 1,
             reason: "no_room".into(),
             retry_after_ms: None,
--- a/crates/measure/src/relay.rs
+++ b/crates/benchmark/src/relay.rs
@@ -1,9 +1,9 @@
 //! The floor: takes the same calls over WebSocket, passes each to the next server, and decides nothing.
 use crankpaddle_http::head;
-use crankpaddle_net::exchange::Wire;
-use crankpaddle_net::{accept_each, listen, Outbox, Socket};
+use crankpaddle_net::exchange::HttpExchange;
+use crankpaddle_net::{accept_each, listen, Socket, WriteBuffer};
+use crankpaddle_server_protocol::sessions::{self, SetUpBody};
 use crankpaddle_session_api::Version;
-use crankpaddle_upstream::sessions::{self, Order};
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
@@ -27,7 +27,7 @@
     sessions: Mutex<HashMap<String, (SocketAddr, String)>>,
 }
 
-struct Stream<'a>(&'a Outbox);
+struct Stream<'a>(&'a WriteBuffer);
 
 impl Read for Stream<'_> {
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
@@ -76,7 +76,7 @@
 
 impl Relay {
     fn serve(&self, socket: Arc<Socket>) -> Result<(), String> {
-        let mut wire = Wire::new(socket.clone());
+        let mut wire = HttpExchange::new(socket.clone());
         let request = wire.request_head(0).map_err(|e| e.to_string())?;
         let accepted = derive_accept_key(
             request
@@ -91,7 +91,7 @@
             ("sec-websocket-accept", accepted.as_str()),
             ("sec-websocket-protocol", Version::V2.subprotocol()),
         ];
-        let outbox = Outbox::new(socket, UNREAD);
+        let outbox = WriteBuffer::new(socket, UNREAD);
         outbox.push(&head::response(101, &fields, b""));
         let config = WebSocketConfig::default()
             .read_buffer_size(READ_BUFFER)
@@ -130,7 +130,7 @@
         let server = self.servers[n % self.servers.len()];
         let text = |field: &str| params[field].as_str().unwrap_or("").to_owned();
         let (name, session) = (format!("relayed-{n:x}"), format!("s-{n}"));
-        let order = Order {
+        let order = SetUpBody {
             front: "relay".into(),
             bill: sessions::bill(&text("key")),
             title: text("title"),
@@ -167,7 +167,7 @@
             None => Arc::new(Socket::connect(&server, CONNECT).ok()?),
         };
         socket.write_all(bytes).ok()?;
-        let (response, _) = Wire::new(socket.clone()).response(64 * 1024).ok()?;
+        let (response, _) = HttpExchange::new(socket.clone()).response(64 * 1024).ok()?;
         if response.keeps_alive() {
             let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
             idle.entry(server).or_default().push(socket);
--- a/crates/cli/src/lab/fleet.rs
+++ b/crates/cli/src/lab/fleet.rs
@@ -2,9 +2,9 @@
 use super::{named, read_day, temporary, wrong};
 use crate::{Failure, BAD_FILE};
 use clap::Args;
-use crankpaddle_fleet_net::{Case, Net, Played, CASES};
-use crankpaddle_lab::day;
-use crankpaddle_lab::fleet::{Memory, Plan};
+use crankpaddle_fault_simulation::{Case, Net, Played, CASES};
+use crankpaddle_testbed::fleet::{Memory, Plan};
+use crankpaddle_testbed::scenario_runner;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -84,7 +84,7 @@
             }
         })?,
     };
-    crankpaddle_fleet_net::parse(&text).map_err(|p| wrong(name, &p))
+    crankpaddle_fault_simulation::parse(&text).map_err(|p| wrong(name, &p))
 }
 
 pub(super) fn run(args: &FleetArgs) -> Result<ExitCode, Failure> {
@@ -106,10 +106,11 @@
     );
     if args.virtually {
         let mut net = Net::of(&case, args.fronts as usize, args.seed);
-        let played = crankpaddle_fleet_net::play(&case, &mut net).map_err(|what| Failure {
-            what,
-            status: BAD_FILE,
-        })?;
+        let played =
+            crankpaddle_fault_simulation::play(&case, &mut net).map_err(|what| Failure {
+                what,
+                status: BAD_FILE,
+            })?;
         let (kept, all) = tell(&played);
         println!(
             "fleet {}: fronts {}, claims kept {kept}/{all}",
@@ -201,9 +202,9 @@
         peers: !args.without_peers,
         memory,
     };
-    let outcome = crankpaddle_lab::fleet::run(case, &day, &plan)?;
+    let outcome = crankpaddle_testbed::fleet::run(case, &day, &plan)?;
     if let Some(file) = &args.report {
-        day::write_records(file, &outcome.records).map_err(|e| named(file, &e))?;
+        scenario_runner::write_records(file, &outcome.records).map_err(|e| named(file, &e))?;
     }
     let (kept, all) = tell(&outcome.played);
     let verdict = &outcome.verdict;
--- a/crates/cli/src/lab/mod.rs
+++ b/crates/cli/src/lab/mod.rs
@@ -3,17 +3,17 @@
 
 use crate::{Failure, BAD_FILE};
 use clap::{Args, Subcommand};
-use crankpaddle_lab::day::{self, Play};
-use crankpaddle_lab::import::{import, Fit};
-use crankpaddle_lab::judge::{judge, Rules};
-use crankpaddle_lab::list_service::{entry, ListService};
-use crankpaddle_lab::player::Crowd;
-use crankpaddle_lab::record::Recorder;
-use crankpaddle_lab::script::{self, Day};
-use crankpaddle_lab::server::Fleet;
-use crankpaddle_measure::account;
-use crankpaddle_measure::bench;
+use crankpaddle_benchmark::account;
+use crankpaddle_benchmark::bench;
 use crankpaddle_net::{clock, spawn, Stack};
+use crankpaddle_testbed::import::{import, Fit};
+use crankpaddle_testbed::invariant_checker::{judge, Rules};
+use crankpaddle_testbed::list_service::{entry, ListService};
+use crankpaddle_testbed::player::Crowd;
+use crankpaddle_testbed::record::Recorder;
+use crankpaddle_testbed::scenario_runner::{self, Play};
+use crankpaddle_testbed::script::{self, Day};
+use crankpaddle_testbed::server::Fleet;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -180,8 +180,8 @@
             let day = read_day(&day)?;
             let config = script::fleet_config(&day.fleet).map_err(|p| wrong("fleet", &p))?;
             let verdict = judge(
-                &Rules::of(&config, day::DRAIN_GRACE, day::BLUR),
-                &day::read_records(&records)?,
+                &Rules::of(&config, scenario_runner::DRAIN_GRACE, scenario_runner::BLUR),
+                &scenario_runner::read_records(&records)?,
             );
             verdict
                 .breaches
@@ -238,7 +238,10 @@
         Lab::Players { front, day, seed } => players(front, &read_day(&day)?, seed),
         Lab::Relay { servers } => {
             crankpaddle_net::start(Some(1));
-            println!("listening {}", crankpaddle_measure::relay::start(servers)?);
+            println!(
+                "listening {}",
+                crankpaddle_benchmark::relay::start(servers)?
+            );
             loop {
                 std::thread::park();
             }
@@ -355,9 +358,9 @@
         workers: args.workers,
         peers: args.peers,
     };
-    let outcome = day::play(&day, &play)?;
+    let outcome = scenario_runner::play(&day, &play)?;
     if let Some(report) = &args.report {
-        day::write_records(report, &outcome.records).map_err(|e| named(report, &e))?;
+        scenario_runner::write_records(report, &outcome.records).map_err(|e| named(report, &e))?;
     }
     let verdict = &outcome.verdict;
     verdict
@@ -390,7 +393,7 @@
 }
 
 /// What crossed against the budgets, by the servers' records and the fronts' reports, and what the day was worth.
-fn crossing(day: &Day, outcome: &day::Outcome) {
+fn crossing(day: &Day, outcome: &scenario_runner::Outcome) {
     for (class, worth) in &outcome.crossed.worth {
         eprintln!("worth {class}: {worth:.0}");
     }
@@ -426,8 +429,12 @@
     crankpaddle_net::start(None);
     let config = Arc::new(script::fleet_config(&day.fleet).map_err(|p| wrong("fleet", &p))?);
     let recorder = Recorder::default();
-    let fleet = Fleet::start(config.clone(), &day::layout(day, 1), recorder.clone())?;
-    let state = crankpaddle_lab::list_service::State::Ready;
+    let fleet = Fleet::start(
+        config.clone(),
+        &scenario_runner::layout(day, 1),
+        recorder.clone(),
+    )?;
+    let state = crankpaddle_testbed::list_service::EndpointState::Ready;
     let entries = fleet
         .servers
         .iter()
@@ -449,10 +456,10 @@
     crankpaddle_net::start(None);
     let config = script::fleet_config(&day.fleet).map_err(|p| wrong("fleet", &p))?;
     let recorder = Recorder::default();
-    let crowd = Arc::new(Crowd::new(recorder.clone(), day::habits(day)));
+    let crowd = Arc::new(Crowd::new(recorder.clone(), scenario_runner::habits(day)));
     let start = clock::now();
     let until = start + day.length;
-    for (at, mut visit) in day::arrivals(day, &config, seed) {
+    for (at, mut visit) in scenario_runner::arrivals(day, &config, seed) {
         std::thread::sleep(Duration::from_nanos(
             (start + at).saturating_sub(clock::now()),
         ));
@@ -465,7 +472,7 @@
         std::thread::sleep(Duration::from_millis(50));
     }
     let verdict = judge(
-        &Rules::of(&config, day::DRAIN_GRACE, day::BLUR),
+        &Rules::of(&config, scenario_runner::DRAIN_GRACE, scenario_runner::BLUR),
         &recorder.all(),
     );
     verdict
--- a/crates/cli/src/traffic.rs
+++ b/crates/cli/src/traffic.rs
@@ -1,7 +1,7 @@
 //! The commands on traffic between halls.
 use crate::Failure;
 use clap::{Args, Subcommand, ValueEnum};
-use crankpaddle_traffic::report::{together, Report};
+use crankpaddle_cross_zone_traffic::report::{merge, TrafficReport};
 use crankpaddle_traffic_report::{csv, fetch, load, svg, table, watch_line};
 use std::io::Write;
 use std::net::SocketAddr;
@@ -74,7 +74,7 @@
 }
 
 /// The reports together, and what could not be had. A part is never passed off as the whole.
-fn collect(sources: &Sources) -> (Report, Vec<String>) {
+fn collect(sources: &Sources) -> (TrafficReport, Vec<String>) {
     let (mut reports, mut missing) = (Vec::new(), Vec::new());
     let fronts = sources
         .fronts
@@ -90,7 +90,7 @@
             Err(e) => missing.push(format!("{name}: {e}")),
         }
     }
-    (together(reports), missing)
+    (merge(reports), missing)
 }
 
 /// Runs a command.
--- a/crates/cli/tests/deployments.rs
+++ b/crates/cli/tests/deployments.rs
@@ -9,7 +9,7 @@
     "node-protocol",
     "net",
     "settings",
-    "upstream",
+    "server-protocol",
     "http",
 ];
 
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! Several processes of the program that know each other: killed, stopped, ended and started anew. Judged by a member of the
 //! fleet that the test plays itself, over a socket.
 #![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
-use crankpaddle_membership::{Change, Output, Peers, Settings, State};
+use crankpaddle_membership::{MemberChange, MemberState, Membership, MembershipConfig, Output};
 use procfs::process::{FDTarget, Process};
 use rustix::process::{kill_process, Pid, Signal};
 use std::io::{BufRead, BufReader};
@@ -96,10 +96,10 @@
 
 /// A member that the test plays.
 struct Observer {
-    peers: Peers,
+    peers: Membership,
     socket: UdpSocket,
     began: Instant,
-    changes: Vec<(Instant, Change)>,
+    changes: Vec<(Instant, MemberChange)>,
 }
 
 impl Observer {
@@ -108,17 +108,17 @@
         socket
             .set_read_timeout(Some(Duration::from_millis(5)))
             .unwrap();
-        let settings = Settings {
+        let settings = MembershipConfig {
             name: "observer".into(),
             address: socket.local_addr().unwrap().to_string(),
             epoch: 1,
-            life: 1,
+            incarnation: 1,
             key: u128::from_str_radix(KEY, 16).unwrap().to_be_bytes(),
-            probe_every: PROBE_EVERY.as_nanos() as u64,
-            answer_within: PROBE_EVERY.as_nanos() as u64 * 2 / 5,
-            ..Settings::default()
+            probe_interval: PROBE_EVERY.as_nanos() as u64,
+            probe_timeout: PROBE_EVERY.as_nanos() as u64 * 2 / 5,
+            ..MembershipConfig::default()
         };
-        let peers = Peers::new(settings, 1, 0);
+        let peers = Membership::new(settings, 1, 0);
         Observer {
             peers,
             socket,
@@ -136,15 +136,15 @@
         if let Ok((n, from)) = self.socket.recv_from(&mut bytes) {
             let now = self.began.elapsed().as_nanos() as u64;
             self.peers
-                .hear(now, &from.to_string(), &bytes[..n], &mut out);
+                .receive(now, &from.to_string(), &bytes[..n], &mut out);
         }
         self.peers
             .expire(self.began.elapsed().as_nanos() as u64, &mut out);
         for output in out {
             match output {
                 Output::Send { address, bytes, .. } => drop(self.socket.send_to(&bytes, address)),
-                Output::Change(change) => self.changes.push((Instant::now(), change)),
-                Output::Standing(_) => {}
+                Output::MemberChanged(change) => self.changes.push((Instant::now(), change)),
+                Output::LocalHealthChanged(_) => {}
             }
         }
     }
@@ -163,14 +163,14 @@
         begun.elapsed()
     }
 
-    fn sees(&self, name: &str, state: State) -> bool {
+    fn sees(&self, name: &str, state: MemberState) -> bool {
         self.peers.state_of(name) == Some(state)
     }
 
     fn accused(&self, name: &str, since: Instant) -> bool {
         self.changes
             .iter()
-            .any(|(at, c)| *at >= since && c.name == name && c.state == State::Gone)
+            .any(|(at, c)| *at >= since && c.name == name && c.state == MemberState::Gone)
     }
 }
 
@@ -192,13 +192,13 @@
     let start = |name: &str| Front::start(&dir, name, &peers(name, &key, seed));
     let mut fronts: Vec<Front> = names.iter().map(|name| start(name)).collect();
     observer.until("all meet", |o| {
-        names.iter().all(|name| o.sees(name, State::Alive))
+        names.iter().all(|name| o.sees(name, MemberState::Alive))
     });
 
     // Killed: its death is found, nobody else is accused.
     let since = Instant::now();
     fronts[0].signal(Signal::KILL);
-    let took = observer.until("a's death is known", |o| o.sees("a", State::Gone));
+    let took = observer.until("a's death is known", |o| o.sees("a", MemberState::Gone));
     eprintln!(
         "a death is known after {took:?}, {} rounds",
         took.as_millis() / PROBE_EVERY.as_millis()
@@ -214,7 +214,7 @@
     // The same name again, from nothing: news, at once.
     fronts[0] = start("a");
     let anew = |o: &Observer| {
-        o.sees("a", State::Alive)
+        o.sees("a", MemberState::Alive)
             && o.changes
                 .iter()
                 .any(|(at, c)| *at >= since && c.name == "a" && c.restarted)
@@ -224,10 +224,10 @@
     // Stopped for so long that the others give it up; it comes back by itself and accuses nobody.
     let since = Instant::now();
     fronts[1].signal(Signal::STOP);
-    observer.until("b is given up", |o| o.sees("b", State::Gone));
+    observer.until("b is given up", |o| o.sees("b", MemberState::Gone));
     fronts[1].log.try_iter().for_each(drop);
     fronts[1].signal(Signal::CONT);
-    let took = observer.until("b is back", |o| o.sees("b", State::Alive));
+    let took = observer.until("b is back", |o| o.sees("b", MemberState::Alive));
     eprintln!("one that stood still is back after {took:?}");
     let quiet = Instant::now();
     observer.until("some rounds pass", |_| quiet.elapsed() > 20 * PROBE_EVERY);
@@ -260,11 +260,11 @@
 
     // Ended in order: it says so.
     fronts[2].signal(Signal::TERM);
-    observer.until("c has left", |o| o.sees("c", State::Left));
+    observer.until("c has left", |o| o.sees("c", MemberState::Left));
     assert!(names
         .iter()
         .filter(|n| **n != "c")
-        .all(|name| observer.sees(name, State::Alive)));
+        .all(|name| observer.sees(name, MemberState::Alive)));
 }
 
 #[test]
--- a/crates/cli/tests/power.rs
+++ b/crates/cli/tests/power.rs
@@ -1,14 +1,14 @@
 //! Power lost at each step between a paid set-up's intent and its answer, and what the next life makes of it. A front is a process
 //! that is killed; its disk, its boot and its servers are changed while it is away. Judged from the servers' own books.
 use crankpaddle_config::Config;
-use crankpaddle_lab::list_service::{entry, ListService, State};
-use crankpaddle_lab::process::Process;
-use crankpaddle_lab::record::{Recorder, Seen};
-use crankpaddle_lab::script::{fleet_config, front_block, FLEET};
-use crankpaddle_lab::server::{Fleet, Layout};
-use crankpaddle_session_api::client::{self, Said};
+use crankpaddle_server_protocol::sessions::bill;
+use crankpaddle_session_api::client::{self, ClientEvent};
 use crankpaddle_session_api::methods::Open;
-use crankpaddle_upstream::sessions::bill;
+use crankpaddle_testbed::list_service::{entry, EndpointState, ListService};
+use crankpaddle_testbed::process::Process;
+use crankpaddle_testbed::record::{Recorder, Seen};
+use crankpaddle_testbed::script::{fleet_config, front_block, FLEET};
+use crankpaddle_testbed::server::{Fleet, Layout};
 use std::fs;
 use std::net::TcpStream;
 use std::path::Path;
@@ -58,8 +58,8 @@
             seed: 3,
         };
         let fleet = Fleet::start(config.clone(), &layout, recorder.clone()).unwrap();
-        let of = |s: &Arc<crankpaddle_lab::server::Server>| {
-            entry(&config, s.id, s.address, State::Ready, 0)
+        let of = |s: &Arc<crankpaddle_testbed::server::Server>| {
+            entry(&config, s.id, s.address, EndpointState::Ready, 0)
         };
         let entries = fleet.servers.iter().map(of).collect();
         let list = ListService::start(entries, 1_000_000, recorder.clone()).unwrap();
@@ -158,11 +158,11 @@
             .unwrap();
     }
 
-    fn hear(&mut self) -> Said {
+    fn hear(&mut self) -> ClientEvent {
         loop {
             if let Message::Text(text) = self.socket.read().unwrap() {
                 match client::read(&text).unwrap().remove(0) {
-                    Said::Rung { .. } => {}
+                    ClientEvent::Rung { .. } => {}
                     said => return said,
                 }
             }
@@ -170,12 +170,14 @@
     }
 
     /// Comes again until it is not told to come back.
-    fn ask(&mut self, key: &str, class: &str) -> Said {
+    fn ask(&mut self, key: &str, class: &str) -> ClientEvent {
         let until = Instant::now() + LONG;
         loop {
             self.open(key, class);
             match self.hear() {
-                Said::Refused { reason, .. } if reason == "overload" || reason == "no_room" => {
+                ClientEvent::Refused { reason, .. }
+                    if reason == "overload" || reason == "no_room" =>
+                {
                     assert!(Instant::now() < until, "{key}: {reason}");
                     std::thread::sleep(Duration::from_millis(50));
                 }
@@ -185,16 +187,16 @@
     }
 }
 
-fn plays(said: &Said) -> (&str, &str) {
+fn plays(said: &ClientEvent) -> (&str, &str) {
     match said {
-        Said::Plays { session, media, .. } => (session, media),
+        ClientEvent::Plays { session, media, .. } => (session, media),
         other => panic!("{other:?}"),
     }
 }
 
-fn failed(said: &Said) -> &str {
+fn failed(said: &ClientEvent) -> &str {
     match said {
-        Said::Failed { reason, .. } => reason,
+        ClientEvent::Failed { reason, .. } => reason,
         other => panic!("{other:?}"),
     }
 }
@@ -222,7 +224,7 @@
             player.calls += 1;
             let text = client::close(player.calls, plays(&said).0);
             player.socket.send(Message::text(text)).unwrap();
-            assert!(matches!(player.hear(), Said::Closed { .. }));
+            assert!(matches!(player.hear(), ClientEvent::Closed { .. }));
             let ended = plays(&said).1.split('/').nth(4).unwrap().to_owned();
             wait("its end", || {
                 rig.seen(|s| matches!(s, Seen::Ended { name, .. } if *name == ended)) == 1
@@ -242,7 +244,7 @@
 ];
 
 /// What the next life must say of a key that was lost at this step, with its disk as it was.
-fn judge(rig: &Rig, step: &str, key: &str, said: &Said, media: Option<&str>) {
+fn judge(rig: &Rig, step: &str, key: &str, said: &ClientEvent, media: Option<&str>) {
     let (sent, billed) = rig.of(key);
     match step {
         "nothing left yet" => {
@@ -251,7 +253,7 @@
         }
         // A server drops what its front left; or it ran to its end first.
         "a server works on it" => match said {
-            Said::Plays { .. } => assert_eq!((sent, billed), (2, 1), "{step}"),
+            ClientEvent::Plays { .. } => assert_eq!((sent, billed), (2, 1), "{step}"),
             other => {
                 failed(other);
                 assert_eq!((sent, billed), (1, 1), "{step}");
@@ -260,7 +262,7 @@
         // Its server lets go of it when its front is lost, or had not seen that yet.
         "it ran and nobody was told" => {
             assert!(
-                matches!(said, Said::Plays { .. } | Said::Failed { .. }),
+                matches!(said, ClientEvent::Plays { .. } | ClientEvent::Failed { .. }),
                 "{said:?}"
             );
             assert_eq!((sent, billed), (1, 1), "{step}");
@@ -367,7 +369,7 @@
         assert_eq!(Some(plays(&said).1), media.as_deref(), "{how}");
         let said = player.ask(&ran, PAID);
         assert!(
-            matches!(said, Said::Plays { .. } | Said::Failed { .. }),
+            matches!(said, ClientEvent::Plays { .. } | ClientEvent::Failed { .. }),
             "{said:?}"
         );
         assert_eq!((rig.of(&told), rig.of(&ran)), ((1, 1), (1, 1)), "{how}");
@@ -405,7 +407,7 @@
     plays(&player.ask("new-0001", PAID));
     drop(player);
     let mut front = [front];
-    let faults = crankpaddle_lab::process::end_all(front.iter_mut(), LONG).unwrap();
+    let faults = crankpaddle_testbed::process::end_all(front.iter_mut(), LONG).unwrap();
     assert_eq!(faults, Vec::<String>::new());
     // The next life serves at once, and still knows.
     let front = rig.start();
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -1,11 +1,11 @@
 //! From text to a checked configuration: structure first, then every value.
 use crate::schema;
 use crate::{Config, Limits, Peers, Store, Title, DEFAULTS, DESCRIPTORS};
-use crankpaddle::{Class, Effect, Group, Settings};
-use crankpaddle_front::Terms;
+use crankpaddle::{Class, Idempotency, RetryScope, Settings};
+use crankpaddle_cross_zone_traffic::budget::SharedBudget;
+use crankpaddle_cross_zone_traffic::cross_zone_admission::CrossZoneLimit;
+use crankpaddle_front::CoreConfig;
 use crankpaddle_textproto::{Checks, Problem, Unit};
-use crankpaddle_traffic::budget::Shared;
-use crankpaddle_traffic::crossing::Limit;
 use std::collections::HashMap;
 
 /// A checked configuration, and its text with all defaults filled in.
@@ -153,77 +153,83 @@
             ),
         };
         let settings = Settings {
-            index: front.index,
-            siblings,
+            front_index: front.index,
+            replica_count: siblings,
             zone: zone as u8,
             classes: of_class,
             rung_kb,
-            rung_worth,
+            rung_utility: rung_worth,
             cells,
             racks,
-            places,
-            fleet_kb,
+            stream_capacity: places,
+            fleet_link_kb: fleet_kb,
             link_kb,
             uplink_kb,
-            server_guard,
-            join,
-            note_delay,
-            note_every,
+            server_rejection_threshold: server_guard,
+            shared_stream_factor: join,
+            update_delay: note_delay,
+            update_interval: note_every,
             shortfall_cost,
-            switch_seconds,
+            rung_change_cost_seconds: switch_seconds,
             tenant_quota,
-            over_share_worth: self.within(
+            over_quota_weight: self.within(
                 "rules.over_share_worth",
                 rules.over_share_worth(),
                 0.0,
                 1.0,
             ),
-            must_ask: false,
-            ask_within: 0,
-            attempts_cap: self.count("rules.attempts", rules.attempts(), 1, 200),
-            stay_away_cap: self.time("rules.stay_away", rules.stay_away()),
-            may_probe: false,
-            may_tell: false,
-            may_cancel: true,
-            cold: self.time("rules.cold", rules.cold()),
-            cold_share: self.within("rules.cold_share", rules.cold_share(), 0.001, 1.0),
-            fall_multiple: self.within("rules.fall_multiple", rules.fall_multiple(), 0.1, 1000.0),
-            fall: self.time("rules.fall", rules.fall()),
-            extra_floor,
-            extra_share,
-            extra_window,
+            discovery_on_request: false,
+            max_discovery_age: 0,
+            max_attempts: self.count("rules.attempts", rules.attempts(), 1, 200),
+            max_retry_after: self.time("rules.stay_away", rules.stay_away()),
+            health_checks_allowed: false,
+            gossip_allowed: false,
+            cancel_allowed: true,
+            slow_start_duration: self.time("rules.cold", rules.cold()),
+            slow_start_min_factor: self.within("rules.cold_share", rules.cold_share(), 0.001, 1.0),
+            overload_multiple: self.within(
+                "rules.fall_multiple",
+                rules.fall_multiple(),
+                0.1,
+                1000.0,
+            ),
+            overload_window: self.time("rules.fall", rules.fall()),
+            retry_budget_min: extra_floor,
+            retry_budget_ratio: extra_share,
+            retry_budget_window: extra_window,
             cross_zone_price: self.within(
                 "rules.cross_zone_price",
                 rules.cross_zone_price(),
                 0.0,
                 1.0,
             ),
-            move_price: 0.0,
+            migration_price: 0.0,
         };
-        let terms = Terms {
-            give_up,
+        let terms = CoreConfig {
+            max_wait: give_up,
             answer_margin: self.time("limits.answer_margin", limits.answer_margin()),
-            resume: self.time("limits.resume", limits.resume()),
-            back: raw
+            resume_window: self.time("limits.resume", limits.resume()),
+            recovered_resume_window: raw
                 .store
                 .first()
                 .map_or(0, |store| self.time("store[0].back", store.back())),
-            open: self.count(
+            max_pending: self.count(
                 "limits.open_requests",
                 limits.open_requests(),
                 1,
                 10_000_000,
             ) as usize,
-            open_per_player: self.count(
+            max_pending_per_player: self.count(
                 "limits.open_requests_per_connection",
                 limits.open_requests_per_connection(),
                 1,
                 1_000_000,
             ) as usize,
-            keep_keys: self.time("limits.keep_keys", limits.keep_keys()),
-            keys_kept: self.count("limits.keys_kept", limits.keys_kept(), 1, 10_000_000) as usize,
+            key_retention: self.time("limits.keep_keys", limits.keep_keys()),
+            max_retained_keys: self.count("limits.keys_kept", limits.keys_kept(), 1, 10_000_000)
+                as usize,
         };
-        for (i, wait) in terms.give_up.iter().enumerate() {
+        for (i, wait) in terms.max_wait.iter().enumerate() {
             let fits = terms.answer_margin <= wait / 2;
             let what = "is under twice limits.answer_margin(): no time is left to set a session up";
             self.must(fits, &format!("class[{i}].give_up"), what);
@@ -231,7 +237,7 @@
         let (titles, groups) = self.titles(&raw.title, cells);
         let budgets = self.budgets(&raw.budget, &zones, &classes, zone);
         let peers = self.peers(&raw.peers);
-        let store = self.store(&raw.store, settings.cold);
+        let store = self.store(&raw.store, settings.slow_start_duration);
         let log_level = log.level().to_owned();
         let levels = ["error", "warn", "info", "debug", "trace"];
         self.must(
@@ -312,20 +318,20 @@
     fn class(&mut self, i: usize, class: &schema::Class, rungs: u32) -> (Class, u64) {
         let path = |field: &str| format!("class[{i}].{field}");
         let group = match class.group() {
-            schema::Group::All => Group::All,
-            schema::Group::Zone => Group::Zone,
-            schema::Group::Cell => Group::Cell,
+            schema::Group::All => RetryScope::All,
+            schema::Group::Zone => RetryScope::Zone,
+            schema::Group::Cell => RetryScope::Cell,
         };
         let (effect, repeat_within) = match class.effect() {
-            schema::Effect::Free => (Effect::Free, 0),
-            schema::Effect::Paid => (Effect::SingleShot, 0),
+            schema::Effect::Free => (Idempotency::Idempotent, 0),
+            schema::Effect::Paid => (Idempotency::AtMostOnce, 0),
             schema::Effect::Guarded => (
-                Effect::Guarded(group),
+                Idempotency::IdempotentWithin(group),
                 self.time(&path("repeat_within"), &class.repeat_within),
             ),
             schema::Effect::Unspecified => {
                 self.wrong(&path("effect"), "is missing: FREE, GUARDED or PAID");
-                (Effect::SingleShot, 0)
+                (Idempotency::AtMostOnce, 0)
             }
         };
         let aim = self.time(&path("aim"), class.aim());
@@ -339,14 +345,14 @@
         let top = self.count(&path("top"), class.top.unwrap_or(rungs - 1), 0, rungs - 1);
         let floor = self.count(&path("floor"), class.floor, 0, top);
         let checked = Class {
-            aim,
-            effect,
-            repeat_within,
-            worth: self.within(&path("worth"), class.worth(), 1e-9, 1e9),
-            floor: floor as u8,
-            top: top as u8,
+            latency_objective: aim,
+            idempotency: effect,
+            retry_window: repeat_within,
+            priority_weight: self.within(&path("worth"), class.worth(), 1e-9, 1e9),
+            min_rung: floor as u8,
+            max_rung: top as u8,
             rate_factor: self.within(&path("rate_factor"), class.rate_factor(), 1e-3, 1e3),
-            seats: class.seats,
+            max_sessions_per_title: class.seats,
             live: class.live,
         };
         (checked, give_up)
@@ -359,7 +365,7 @@
         zones: &[String],
         classes: &[String],
         own: usize,
-    ) -> Vec<Limit> {
+    ) -> Vec<CrossZoneLimit> {
         let mut seen = HashMap::new();
         let mut all = Vec::new();
         for (i, budget) in budgets.iter().enumerate() {
@@ -412,14 +418,14 @@
             };
             let repay = self.time(&path("repay"), budget.repay());
             if let (Some(from), true) = (from, to == Some(own)) {
-                let shared = Shared {
+                let shared = SharedBudget {
                     rate_kb,
                     burst,
                     volume,
                     period,
                     repay,
                 };
-                all.push(Limit {
+                all.push(CrossZoneLimit {
                     from: from as u8,
                     class: class.map(|c| c as u8),
                     shared,
@@ -493,14 +499,14 @@
             &path("boot_file"),
             "is empty: a file that differs with each boot",
         );
-        let steps = crankpaddle_recovery::Terms {
-            settle: self.time(&path("settle"), store.settle()),
-            calm: self.time(&path("calm"), store.calm()),
-            paid_first: match &store.paid_first {
+        let steps = crankpaddle_recovery::StageTimeouts {
+            reconciliation_timeout: self.time(&path("settle"), store.settle()),
+            paid_quiet_period: self.time(&path("calm"), store.calm()),
+            paid_only_timeout: match &store.paid_first {
                 Some(time) => self.time(&path("paid_first"), time),
                 None => warm,
             },
-            warm,
+            warm_up_duration: warm,
         };
         Some(Store {
             dir: store.dir.clone().into(),
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -9,8 +9,8 @@
 mod check;
 
 use crankpaddle::Settings;
-use crankpaddle_front::Terms;
-use crankpaddle_traffic::crossing::Limit;
+use crankpaddle_cross_zone_traffic::cross_zone_admission::CrossZoneLimit;
+use crankpaddle_front::CoreConfig;
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -98,7 +98,7 @@
     /// The file of the key from which its name at servers is made.
     pub key_file: PathBuf,
     /// Bounds of the steps in which service returns.
-    pub steps: crankpaddle_recovery::Terms,
+    pub steps: crankpaddle_recovery::StageTimeouts,
     /// A file whose text differs with each boot of the host.
     pub boot_file: PathBuf,
 }
@@ -113,7 +113,7 @@
     /// The decision module's settings.
     pub settings: Settings,
     /// The core's terms.
-    pub terms: Terms,
+    pub terms: CoreConfig,
     /// Bounds of the sockets.
     pub limits: Limits,
     /// Where players and operators connect.
@@ -137,7 +137,7 @@
     /// Groups of titles by number; the first, without a name, is that of titles without one.
     pub groups: Vec<String>,
     /// Budgets for what crosses to this front's zone.
-    pub budgets: Vec<Limit>,
+    pub budgets: Vec<CrossZoneLimit>,
     /// Where the account of traffic is kept.
     pub traffic_file: Option<PathBuf>,
     /// Titles by name.
--- a/crates/config/tests/check.rs
+++ b/crates/config/tests/check.rs
@@ -21,13 +21,16 @@
 fn the_example_is_what_it_says() {
     let config = parse(GOOD).unwrap();
     assert_eq!(config.settings.rung_kb, [60.0, 120.0, 200.0, 400.0]);
-    assert_eq!(config.settings.classes[0].aim, 800_000_000);
-    assert_eq!(config.settings.classes[0].top, 3);
-    assert_eq!(config.terms.give_up, [4_000_000_000, 5_000_000_000]);
+    assert_eq!(config.settings.classes[0].latency_objective, 800_000_000);
+    assert_eq!(config.settings.classes[0].max_rung, 3);
+    assert_eq!(config.terms.max_wait, [4_000_000_000, 5_000_000_000]);
     assert_eq!(config.limits.message, 65536);
     assert_eq!(config.classes, ["paid-view", "preview"]);
     assert_eq!(config.titles["old-bridge"].first_cell, 2);
-    assert_eq!((config.settings.zone, config.settings.siblings), (0, 2));
+    assert_eq!(
+        (config.settings.zone, config.settings.replica_count),
+        (0, 2)
+    );
 }
 
 #[test]
@@ -165,14 +168,17 @@
     let few = parse(EXAMPLE).unwrap();
     assert_eq!(
         (
-            few.settings.attempts_cap,
+            few.settings.max_attempts,
             few.limits.message,
-            few.terms.keys_kept
+            few.terms.max_retained_keys
         ),
         (3, 65536, 100_000)
     );
     assert_eq!(
-        (few.settings.classes[0].aim, few.settings.classes[1].worth),
+        (
+            few.settings.classes[0].latency_objective,
+            few.settings.classes[1].priority_weight
+        ),
         (1_000_000_000, 1.0)
     );
     assert!(few.log_json && few.log_level == "info");
@@ -180,11 +186,14 @@
     let said = EXAMPLE.to_owned() + "rules { over_share_worth: 0 cold_share: 0.5 }\n";
     let config = parse(&said).unwrap();
     assert_eq!(
-        (config.settings.over_share_worth, config.settings.cold_share),
+        (
+            config.settings.over_quota_weight,
+            config.settings.slow_start_min_factor
+        ),
         (0.0, 0.5)
     );
     assert_eq!(
-        config.settings.attempts_cap, 3,
+        config.settings.max_attempts, 3,
         "the rest of the block is filled in all the same"
     );
 }
--- a/crates/traffic/src/budget.rs
+++ b/crates/cross-zone-traffic/src/budget.rs
@@ -3,7 +3,7 @@
 //! The rate is held by the generic cell rate algorithm in its leaky-bucket form (ITU-T I.371, continuous-state leaky
 //! bucket), in bytes: what a session is expected to send is owed when it starts, what it did not send is taken off when
 //! it ends, and the debt drains at this front's part of the rate. A session conforms while the debt is within this
-//! front's part of the burst. Which part that is, [`crate::part`] says.
+//! front's part of the burst. Which part that is, [`crate::quota_share`] says.
 //!
 //! How far off fronts can be: over by no more than the burst and one session for each front that has just begun, and by
 //! what chance makes sessions longer than the mean (what flows is charged as it flows, and the expected rest is held
@@ -13,7 +13,7 @@
 
 /// What all fronts together may use.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Shared {
+pub struct SharedBudget {
     /// kB a second; 0: nothing.
     pub rate_kb: f64,
     /// Bytes that may go ahead of the rate.
@@ -29,14 +29,14 @@
 
 /// Which front this is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Place {
+pub struct FrontPosition {
     /// Its number.
     pub index: u32,
     /// Number of fronts.
     pub siblings: u32,
 }
 
-impl Place {
+impl FrontPosition {
     /// The part of a front that knows nothing of the others.
     pub fn equal_part(&self) -> f64 {
         1.0 / f64::from(self.siblings.max(1))
@@ -46,8 +46,8 @@
 /// A front's part of a budget.
 #[derive(Clone, Debug)]
 pub struct Budget {
-    shared: Shared,
-    place: Place,
+    shared: SharedBudget,
+    place: FrontPosition,
     part: f64,
     owed: f64, // Bytes that conformed when they were taken, and what of them flowed beyond.
     overdue: f64, // Bytes beyond the budget, to be repaid for a bounded time.
@@ -61,7 +61,7 @@
 
 impl Budget {
     /// Nothing used yet, and an equal part.
-    pub fn new(shared: Shared, place: Place) -> Budget {
+    pub fn new(shared: SharedBudget, place: FrontPosition) -> Budget {
         Budget {
             shared,
             place,
@@ -78,7 +78,7 @@
     }
 
     /// What all fronts share.
-    pub fn shared(&self) -> &Shared {
+    pub fn shared(&self) -> &SharedBudget {
         &self.shared
     }
 
@@ -215,7 +215,7 @@
     }
 
     /// Another budget or place from now on; what was used, owed and overdrawn stays.
-    pub fn change(&mut self, shared: Shared, place: Place) {
+    pub fn change(&mut self, shared: SharedBudget, place: FrontPosition) {
         if self.place != place {
             self.part = place.equal_part();
         }
--- a/crates/traffic/src/crossing.rs
+++ b/crates/cross-zone-traffic/src/cross_zone_admission.rs
@@ -4,10 +4,10 @@
 //! Paid service goes before the budget: it crosses when its own hall can't serve it, the overdraft is counted with its
 //! cause, and previews repay it by staying at home, or at their least rung, until the debt is down again; for a bounded
 //! time, after which the rest is written off.
-use crate::budget::{Budget, Place, Shared};
-use crate::part::{Part, Reports};
+use crate::budget::{Budget, FrontPosition, SharedBudget};
+use crate::quota_share::{QuotaShare, UsageReports};
 use crate::SECOND;
-pub use crankpaddle::Leave;
+pub use crankpaddle::CrossZonePolicy;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Over this level of the budget nothing but paid service starts to cross ...
@@ -27,7 +27,7 @@
 
 /// Why paid service crossed beyond the budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Cause {
+pub enum CapReason {
     /// No server of its own hall was up.
     HallLost,
     /// Its own hall had no room, or does not hold the title.
@@ -36,18 +36,18 @@
 
 /// A budget for what goes from a zone to this front's; `class`: for one class alone, else for all that have none.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Limit {
+pub struct CrossZoneLimit {
     /// The zone of the servers.
     pub from: u8,
     /// The class.
     pub class: Option<u8>,
     /// What all fronts share.
-    pub shared: Shared,
+    pub shared: SharedBudget,
 }
 
 /// A session that starts to cross.
 #[derive(Clone, Copy, Debug)]
-pub struct Start {
+pub struct SessionStart {
     /// The session.
     pub session: u64,
     /// The zone of its server.
@@ -59,12 +59,12 @@
     /// That of its lowest rung.
     pub least_kb: f64,
     /// Why it crosses, should it be beyond the budget.
-    pub cause: Cause,
+    pub cause: CapReason,
 }
 
 /// Sessions whose highest rung changes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Orders {
+pub struct RateCapChanges {
     /// To their lowest.
     pub lower: Vec<u64>,
     /// As high as they may.
@@ -73,9 +73,9 @@
 
 /// How one budget stands.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Standing {
+pub struct BudgetStatus {
     /// The budget.
-    pub limit: Limit,
+    pub limit: CrossZoneLimit,
     /// This front's part of it.
     pub part: f64,
     /// Debt over this front's part of the burst.
@@ -83,7 +83,7 @@
     /// kB a second that cross under it now, of paid service and of the rest.
     pub crossing_kb: (f64, f64),
     /// Bytes beyond it so far, by cause.
-    pub overdrafts: BTreeMap<Cause, f64>,
+    pub overdrafts: BTreeMap<CapReason, f64>,
     /// Bytes that were written off.
     pub written_off: f64,
     /// Sessions at their lowest rung for it now.
@@ -103,7 +103,7 @@
     since: u64, // Of the present rate, and the bytes before.
     sent: f64,
     lowered: bool,
-    overdrawn: Option<Cause>,
+    overdrawn: Option<CapReason>,
 }
 
 type Key = (u8, Option<u8>);
@@ -111,17 +111,17 @@
 #[derive(Clone, Debug)]
 struct Pool {
     budget: Budget,
-    part: Part,
+    part: QuotaShare,
     short: bool,
     relieved: u64,
-    overdrafts: BTreeMap<Cause, f64>,
+    overdrafts: BTreeMap<CapReason, f64>,
 }
 
 impl Pool {
-    fn new(shared: Shared, place: Place) -> Pool {
+    fn new(shared: SharedBudget, place: FrontPosition) -> Pool {
         Pool {
             budget: Budget::new(shared, place),
-            part: Part::new(place.equal_part()),
+            part: QuotaShare::new(place.equal_part()),
             short: false,
             relieved: 0,
             overdrafts: BTreeMap::new(),
@@ -148,21 +148,26 @@
 
 /// The crossing traffic of one front, whose viewers are in one zone.
 #[derive(Clone, Debug)]
-pub struct Crossing {
+pub struct CrossZoneAdmission {
     paid: Vec<bool>, // By class.
     pools: BTreeMap<Key, Pool>,
     held: BTreeMap<u64, Held>,
-    reports: BTreeMap<u8, Reports>, // By the zone of the servers.
+    reports: BTreeMap<u8, UsageReports>, // By the zone of the servers.
     servers: BTreeMap<u8, BTreeSet<u32>>, // Those that are up.
-    told: BTreeMap<(u8, u8), Leave>,
+    told: BTreeMap<(u8, u8), CrossZonePolicy>,
     length: f64, // Mean length of sessions, seconds.
 }
 
-impl Crossing {
+impl CrossZoneAdmission {
     /// `paid`: for each class whether it goes before the budget. A zone without a budget is free. `length`: mean length
     /// of sessions, seconds, until ends are seen.
-    pub fn new(paid: Vec<bool>, limits: &[Limit], place: Place, length: f64) -> Crossing {
-        let mut crossing = Crossing {
+    pub fn new(
+        paid: Vec<bool>,
+        limits: &[CrossZoneLimit],
+        place: FrontPosition,
+        length: f64,
+    ) -> CrossZoneAdmission {
+        let mut crossing = CrossZoneAdmission {
             paid,
             pools: BTreeMap::new(),
             held: BTreeMap::new(),
@@ -186,24 +191,24 @@
     }
 
     /// How a class may be served from a zone now.
-    pub fn leave(&mut self, now: u64, from: u8, class: u8) -> Leave {
+    pub fn policy(&mut self, now: u64, from: u8, class: u8) -> CrossZonePolicy {
         let paid = self.is_paid(class);
         let Some(pool) = self
             .key(from, class)
             .and_then(|key| self.pools.get_mut(&key))
         else {
-            return Leave::Free;
+            return CrossZonePolicy::Allowed;
         };
         pool.look(now);
         match (!pool.short && pool.budget.conforms(now, 0.0), paid) {
-            (true, _) => Leave::Free,
-            (false, true) => Leave::Last,
-            (false, false) => Leave::Never,
+            (true, _) => CrossZonePolicy::Allowed,
+            (false, true) => CrossZonePolicy::LastResort,
+            (false, false) => CrossZonePolicy::Forbidden,
         }
     }
 
     /// What changed since this was last asked: zone, class and how it may leave. Call it before requests are placed.
-    pub fn changes(&mut self, now: u64) -> Vec<(u8, u8, Leave)> {
+    pub fn policy_changes(&mut self, now: u64) -> Vec<(u8, u8, CrossZonePolicy)> {
         let zones: BTreeSet<u8> = self.pools.keys().map(|(zone, _)| *zone).collect();
         let gone = self
             .told
@@ -217,7 +222,7 @@
         let all: Vec<(u8, u8)> = named.chain(gone).collect();
         let mut changed = Vec::new();
         for (zone, class) in all {
-            let leave = self.leave(now, zone, class);
+            let leave = self.policy(now, zone, class);
             if self.told.insert((zone, class), leave).unwrap_or_default() != leave {
                 changed.push((zone, class, leave));
             }
@@ -226,20 +231,21 @@
     }
 
     /// A request of a class came: where its budget holds it back, more of it is wanted.
-    pub fn asked(&mut self, now: u64, class: u8) {
+    pub fn session_requested(&mut self, now: u64, class: u8) {
         let keys: BTreeSet<u8> = self.pools.keys().map(|(zone, _)| *zone).collect();
         for zone in keys {
-            if self.leave(now, zone, class) != Leave::Free {
+            if self.policy(now, zone, class) != CrossZonePolicy::Allowed {
                 let key = self.key(zone, class);
                 let pool = key.and_then(|key| self.pools.get_mut(&key));
-                pool.into_iter().for_each(|pool| pool.part.want(now));
+                pool.into_iter()
+                    .for_each(|pool| pool.part.request_more(now));
             }
         }
     }
 
     /// A session starts to cross; gives the bytes that its budget did not have.
-    pub fn start(&mut self, now: u64, start: Start) -> f64 {
-        let Start {
+    pub fn start(&mut self, now: u64, start: SessionStart) -> f64 {
+        let SessionStart {
             session,
             from,
             class,
@@ -314,24 +320,24 @@
     }
 
     /// The servers of a zone that are up.
-    pub fn listed(&mut self, zone: u8, servers: BTreeSet<u32>) {
+    pub fn update_servers(&mut self, zone: u8, servers: BTreeSet<u32>) {
         self.servers.insert(zone, servers);
     }
 
     /// A server reports what crosses from it to this front's zone, for all fronts; `at`: the time that it speaks of.
-    pub fn heard(&mut self, zone: u8, server: u32, at: u64, kb: BTreeMap<u8, f64>) {
-        self.reports.entry(zone).or_default().hear(server, at, kb);
+    pub fn usage_reported(&mut self, zone: u8, server: u32, at: u64, kb: BTreeMap<u8, f64>) {
+        self.reports.entry(zone).or_default().record(server, at, kb);
     }
 
     /// A server is lost: nothing crosses from it until it reports again.
-    pub fn lost(&mut self, zone: u8, server: u32) {
-        self.reports.entry(zone).or_default().gone(server);
+    pub fn server_lost(&mut self, zone: u8, server: u32) {
+        self.reports.entry(zone).or_default().server_removed(server);
         self.servers.entry(zone).or_default().remove(&server);
     }
 
     /// Zones whose servers' reports this front needs now: it wants more than its part of their budgets, or holds more.
-    pub fn listens(&self, now: u64) -> BTreeSet<u8> {
-        let needs = |pool: &Pool| pool.part.wants(now) || pool.part.borrows();
+    pub fn zones_observed(&self, now: u64) -> BTreeSet<u8> {
+        let needs = |pool: &Pool| pool.part.has_demand(now) || pool.part.exceeds_equal_share();
         self.pools
             .iter()
             .filter(|(_, pool)| needs(pool))
@@ -343,7 +349,7 @@
     /// a second. Danger: with the first expectation alone, sessions that end early give back at once while long ones
     /// are charged only when they end, and for as long as that the fronts are over their budget together (by a
     /// third, seen in a test).
-    pub fn tick(&mut self, now: u64) -> Orders {
+    pub fn tick(&mut self, now: u64) -> RateCapChanges {
         // One pass without a search for each: this stands between players and their answers.
         let mut own: BTreeMap<Key, f64> = BTreeMap::new();
         for held in self.held.values_mut() {
@@ -359,7 +365,7 @@
         let separate: BTreeSet<Key> = self.pools.keys().copied().collect();
         for (key, pool) in &mut self.pools {
             let rate = pool.budget.shared().rate_kb.max(1e-9);
-            let none = (Reports::default(), BTreeSet::new());
+            let none = (UsageReports::default(), BTreeSet::new());
             let reports = self.reports.get(&key.0).unwrap_or(&none.0);
             let servers = self.servers.get(&key.0).unwrap_or(&none.1);
             let under = |class: u8| match key.1 {
@@ -370,11 +376,11 @@
             let own = own.get(key).copied().unwrap_or(0.0);
             let part = pool
                 .part
-                .look(now, own / rate, total.map(|(at, kb)| (at, kb / rate)));
+                .update(now, own / rate, total.map(|(at, kb)| (at, kb / rate)));
             pool.budget.set_part(now, part);
         }
         let keys: Vec<Key> = self.pools.keys().copied().collect();
-        let mut orders = Orders::default();
+        let mut orders = RateCapChanges::default();
         for key in keys {
             self.relieve(now, key, &mut orders);
             self.restore(now, key, &mut orders);
@@ -389,7 +395,7 @@
     }
 
     /// Previews at their lowest, dearest first, until the debt is within the burst.
-    fn relieve(&mut self, now: u64, key: Key, orders: &mut Orders) {
+    fn relieve(&mut self, now: u64, key: Key, orders: &mut RateCapChanges) {
         let Some(pool) = self.pools.get_mut(&key) else {
             return;
         };
@@ -418,7 +424,7 @@
     }
 
     /// The least costly of those that were lowered, one a look.
-    fn restore(&mut self, now: u64, key: Key, orders: &mut Orders) {
+    fn restore(&mut self, now: u64, key: Key, orders: &mut RateCapChanges) {
         if self.level_of(now, key) > RESTORE {
             return;
         }
@@ -433,14 +439,14 @@
     }
 
     /// How the budgets stand.
-    pub fn standings(&mut self, now: u64) -> Vec<Standing> {
+    pub fn budget_statuses(&mut self, now: u64) -> Vec<BudgetStatus> {
         let keys: Vec<Key> = self.pools.keys().copied().collect();
         keys.into_iter()
             .filter_map(|key| self.standing(now, key))
             .collect()
     }
 
-    fn standing(&mut self, now: u64, key: Key) -> Option<Standing> {
+    fn standing(&mut self, now: u64, key: Key) -> Option<BudgetStatus> {
         let level = self.level_of(now, key);
         let there = || self.held.values().filter(move |h| h.key == key);
         let kb = |paid: bool| {
@@ -451,8 +457,8 @@
                 + 0.0
         };
         let pool = self.pools.get(&key)?;
-        Some(Standing {
-            limit: Limit {
+        Some(BudgetStatus {
+            limit: CrossZoneLimit {
                 from: key.0,
                 class: key.1,
                 shared: *pool.budget.shared(),
@@ -468,8 +474,8 @@
 
     /// Other budgets or another place from now on; what flows and what is owed stay. A zone without a budget any more
     /// is free, and sessions that flow under another one from now on are counted there.
-    pub fn change(&mut self, limits: &[Limit], place: Place) {
-        let key = |l: &Limit| (l.from, l.class);
+    pub fn change(&mut self, limits: &[CrossZoneLimit], place: FrontPosition) {
+        let key = |l: &CrossZoneLimit| (l.from, l.class);
         self.pools
             .retain(|k, _| limits.iter().any(|l| key(l) == *k));
         for limit in limits {
@@ -479,7 +485,7 @@
                 .or_insert_with(|| Pool::new(limit.shared, place));
             pool.budget.change(limit.shared, place);
             if pool.part.equal() != place.equal_part() {
-                pool.part = Part::new(place.equal_part());
+                pool.part = QuotaShare::new(place.equal_part());
             }
         }
     }
--- a/crates/traffic/src/part.rs
+++ b/crates/cross-zone-traffic/src/quota_share.rs
@@ -36,13 +36,13 @@
 
 /// What servers of a zone report as crossing to one other, by class, all fronts together.
 #[derive(Clone, Debug, Default)]
-pub struct Reports {
+pub struct UsageReports {
     heard: BTreeMap<u32, (u64, BTreeMap<u8, f64>)>, // When, and kB a second by class.
 }
 
-impl Reports {
+impl UsageReports {
     /// A server reports what it sends across, kB a second by class. A report older than one that was heard is nothing.
-    pub fn hear(&mut self, server: u32, at: u64, kb: BTreeMap<u8, f64>) {
+    pub fn record(&mut self, server: u32, at: u64, kb: BTreeMap<u8, f64>) {
         let known = self.heard.entry(server).or_insert((at, BTreeMap::new()));
         if at >= known.0 {
             *known = (at, kb);
@@ -50,7 +50,7 @@
     }
 
     /// A server is gone, and nothing crosses from it.
-    pub fn gone(&mut self, server: u32) {
+    pub fn server_removed(&mut self, server: u32) {
         self.heard.remove(&server);
     }
 
@@ -81,7 +81,7 @@
 
 /// A front's part of one budget.
 #[derive(Clone, Debug)]
-pub struct Part {
+pub struct QuotaShare {
     equal: f64,
     part: f64,
     mean: f64,                 // Of the use.
@@ -89,10 +89,10 @@
     wanted: Option<u64>,
 }
 
-impl Part {
+impl QuotaShare {
     /// An equal part.
-    pub fn new(equal: f64) -> Part {
-        Part {
+    pub fn new(equal: f64) -> QuotaShare {
+        QuotaShare {
             equal,
             part: equal,
             mean: 0.0,
@@ -107,24 +107,24 @@
     }
 
     /// A session was held back, or would have been.
-    pub fn want(&mut self, now: u64) {
+    pub fn request_more(&mut self, now: u64) {
         self.wanted = Some(now);
     }
 
     /// Whether more was wanted of late; then reports of all servers are worth hearing.
-    pub fn wants(&self, now: u64) -> bool {
+    pub fn has_demand(&self, now: u64) -> bool {
         self.wanted
             .is_some_and(|at| now.saturating_sub(at) <= WANTS)
     }
 
     /// Whether more than an equal part is held, which only reports allow.
-    pub fn borrows(&self) -> bool {
+    pub fn exceeds_equal_share(&self) -> bool {
         self.part > self.equal * 1.01
     }
 
     /// Looks anew, about once a second: `own` use now, and all use at an earlier time where every server reported; both
     /// over the budget's rate.
-    pub fn look(&mut self, now: u64, own: f64, all: Option<(u64, f64)>) -> f64 {
+    pub fn update(&mut self, now: u64, own: f64, all: Option<(u64, f64)>) -> f64 {
         self.mean += MEAN * (own - self.mean);
         self.own.push_back((now, own));
         self.own
@@ -144,7 +144,7 @@
         let then = near.reduce(f64::max).unwrap_or(own).max(self.mean);
         if all > 1.0 {
             self.part = self.part.min(then.min(all) / all);
-        } else if self.wants(now) {
+        } else if self.has_demand(now) {
             let weight = own.max(self.equal) / (1.0 + all);
             let most = (own.max(self.mean) * AHEAD).max(self.equal);
             self.part = (self.part + GROWTH * (FULL - all).max(0.0) * weight).min(most);
@@ -163,40 +163,40 @@
 
     #[test]
     fn a_part_grows_only_while_wanted_and_with_reports_and_falls_at_once() {
-        let mut p = Part::new(0.1);
+        let mut p = QuotaShare::new(0.1);
         assert_eq!(
-            p.look(SECOND, 0.1, Some((SECOND, 0.1))),
+            p.update(SECOND, 0.1, Some((SECOND, 0.1))),
             0.1,
             "nothing more is wanted"
         );
-        p.want(SECOND);
-        let first = p.look(SECOND, 0.1, Some((SECOND, 0.1)));
+        p.request_more(SECOND);
+        let first = p.update(SECOND, 0.1, Some((SECOND, 0.1)));
         assert!(first > 0.1 && first < 0.11, "{first}");
         assert_eq!(
-            p.look(2 * SECOND, first, None),
+            p.update(2 * SECOND, first, None),
             0.1,
             "without reports an equal part"
         );
         for step in 2..600 {
-            p.want(step * SECOND);
+            p.request_more(step * SECOND);
             let own = p.part;
-            p.look(step * SECOND, own, Some((step * SECOND, own)));
+            p.update(step * SECOND, own, Some((step * SECOND, own)));
         }
-        assert!(p.part > 0.9 && p.borrows(), "{}", p.part);
-        let share = p.look(600 * SECOND, 0.9, Some((600 * SECOND, 1.2)));
+        assert!(p.part > 0.9 && p.exceeds_equal_share(), "{}", p.part);
+        let share = p.update(600 * SECOND, 0.9, Some((600 * SECOND, 1.2)));
         assert!(
             (0.7..0.85).contains(&share),
             "its share of what is over: {share}"
         );
         let given_back: Vec<f64> = (690..790)
-            .map(|s| p.look(s * SECOND, 0.3, Some((s * SECOND, 0.3))))
+            .map(|s| p.update(s * SECOND, 0.3, Some((s * SECOND, 0.3))))
             .collect();
         assert!(
             given_back.windows(2).all(|w| w[1] <= w[0]) && given_back[60] < 0.32,
             "{given_back:?}"
         );
         let last = (790..900)
-            .map(|s| p.look(s * SECOND, 0.0, Some((s * SECOND, 0.0))))
+            .map(|s| p.update(s * SECOND, 0.0, Some((s * SECOND, 0.0))))
             .last();
         assert_eq!(last, Some(0.1));
     }
@@ -213,9 +213,9 @@
             let grown: f64 = uses
                 .iter()
                 .map(|own| {
-                    let mut p = Part::new(equal);
-                    p.want(SECOND);
-                    p.look(SECOND, *own, Some((SECOND, all))) - equal
+                    let mut p = QuotaShare::new(equal);
+                    p.request_more(SECOND);
+                    p.update(SECOND, *own, Some((SECOND, all))) - equal
                 })
                 .sum();
             assert!(
@@ -227,16 +227,16 @@
 
     #[test]
     fn reports_count_only_when_every_server_was_heard_of_late() {
-        let mut r = Reports::default();
+        let mut r = UsageReports::default();
         let kb = |kb: f64| BTreeMap::from([(0u8, kb), (1, 10.0 * kb)]);
-        r.hear(1, 10 * SECOND, kb(5.0));
+        r.record(1, 10 * SECOND, kb(5.0));
         assert_eq!(r.total(11 * SECOND, [1, 2].into_iter(), |_| true), None);
-        r.hear(2, 11 * SECOND, kb(1.0));
+        r.record(2, 11 * SECOND, kb(1.0));
         assert_eq!(
             r.total(11 * SECOND, [1, 2].into_iter(), |c| c == 0),
             Some((10 * SECOND, 6.0))
         );
-        r.hear(1, 9 * SECOND, kb(100.0)); // Overtaken on its way.
+        r.record(1, 9 * SECOND, kb(100.0)); // Overtaken on its way.
         assert_eq!(
             r.total(11 * SECOND, [1, 2].into_iter(), |_| true),
             Some((10 * SECOND, 66.0))
@@ -246,7 +246,7 @@
             None,
             "too old"
         );
-        r.gone(1);
+        r.server_removed(1);
         assert_eq!(
             r.total(14 * SECOND, [2].into_iter(), |_| true),
             Some((11 * SECOND, 11.0))
--- a/crates/traffic/src/report.rs
+++ b/crates/cross-zone-traffic/src/report.rs
@@ -1,7 +1,7 @@
 //! What is told of a front's traffic, kept over its restarts, and how the reports of many fronts become one.
-use crate::account::{Flow, Kept, Purpose, REST};
-use crate::crossing::Cause;
-use crate::desk::Desk;
+use crate::cross_zone_admission::CapReason;
+use crate::traffic_controller::TrafficController;
+use crate::usage_accounting::{Flow, Purpose, SavedFlow, REST};
 use crate::windows::Span;
 use crate::SECOND;
 use schemars::JsonSchema;
@@ -14,7 +14,7 @@
 
 /// Names by number.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Names {
+pub struct TrafficNames {
     /// Of zones.
     pub zones: Vec<String>,
     /// Of classes.
@@ -27,8 +27,8 @@
 
 /// Bytes of a span of time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-#[schemars(deny_unknown_fields)]
-pub struct Bytes {
+#[schemars(deny_unknown_fields, rename = "Bytes")] // The published name.
+pub struct ByteTotals {
     /// When it began, milliseconds since 1970.
     pub at_ms: u64,
     /// How many.
@@ -66,9 +66,9 @@
     /// Told before and found not to have been sent.
     pub overstated_bytes: u64,
     /// Late minutes.
-    pub minutes: Vec<Bytes>,
+    pub minutes: Vec<ByteTotals>,
     /// Late hours.
-    pub hours: Vec<Bytes>,
+    pub hours: Vec<ByteTotals>,
 }
 
 /// A budget and its use.
@@ -105,8 +105,8 @@
 
 /// What a front tells of its traffic.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
-#[schemars(deny_unknown_fields)]
-pub struct Report {
+#[schemars(deny_unknown_fields, rename = "Report")] // The published name.
+pub struct TrafficReport {
     /// The front's number.
     pub front: u32,
     /// When, milliseconds since 1970.
@@ -135,21 +135,27 @@
         .find(|p| purpose_name(*p) == name)
 }
 
-fn spans(all: BTreeMap<u64, u64>) -> Vec<Bytes> {
+fn spans(all: BTreeMap<u64, u64>) -> Vec<ByteTotals> {
     all.into_iter()
-        .map(|(at, bytes)| Bytes {
+        .map(|(at, bytes)| ByteTotals {
             at_ms: at / MILLISECOND,
             bytes,
         })
         .collect()
 }
 
-impl Report {
+impl TrafficReport {
     /// What a desk has to tell.
-    pub fn of(desk: &mut Desk, front: u32, zone: u8, names: &Names, now: u64) -> Report {
+    pub fn of(
+        desk: &mut TrafficController,
+        front: u32,
+        zone: u8,
+        names: &TrafficNames,
+        now: u64,
+    ) -> TrafficReport {
         let name =
             |names: &[String], n: usize| names.get(n).cloned().unwrap_or_else(|| OTHER.to_owned());
-        let budgets = desk.standings(now).into_iter().map(|s| {
+        let budgets = desk.budget_statuses(now).into_iter().map(|s| {
             let overdraft = |cause| s.overdrafts.get(&cause).copied().unwrap_or(0.0) as u64;
             BudgetReport {
                 from: name(&names.zones, usize::from(s.limit.from)),
@@ -164,15 +170,15 @@
                 level: s.level.is_finite().then_some(s.level),
                 paid_kb: s.crossing_kb.0,
                 other_kb: s.crossing_kb.1,
-                overdraft_hall_lost_bytes: overdraft(Cause::HallLost),
-                overdraft_hall_full_bytes: overdraft(Cause::HallFull),
+                overdraft_hall_lost_bytes: overdraft(CapReason::HallLost),
+                overdraft_hall_full_bytes: overdraft(CapReason::HallFull),
                 written_off_bytes: s.written_off as u64,
                 lowered_sessions: s.lowered as u64,
             }
         });
         let budgets = budgets.collect();
-        let account = desk.account();
-        let flow = |(f, sums): (&Flow, &crate::account::Sums)| FlowReport {
+        let account = desk.usage();
+        let flow = |(f, sums): (&Flow, &crate::usage_accounting::FlowTotals)| FlowReport {
             from: name(&names.zones, usize::from(f.from)),
             to: name(&names.zones, usize::from(f.to)),
             class: name(&names.classes, usize::from(f.class)),
@@ -192,22 +198,22 @@
             corrected_bytes: sums.corrected.total(),
             estimated_bytes: sums.estimated.total(),
             overstated_bytes: sums.overstated,
-            minutes: spans(sums.late(Span::Minute)),
-            hours: spans(sums.late(Span::Hour)),
+            minutes: spans(sums.recent(Span::Minute)),
+            hours: spans(sums.recent(Span::Hour)),
         };
-        Report {
+        TrafficReport {
             front,
             at_ms: now / MILLISECOND,
             flows: account.flows().map(flow).collect(),
             budgets,
             unsettled_sessions: account.sessions() as u64,
-            too_late: account.too_late(),
+            too_late: account.dropped_late_reports(),
         }
     }
 
     /// What a desk takes over from the report that an earlier life kept. Flows whose names are not known any more go to
     /// the rest, so that no byte is lost when a zone or class is renamed.
-    pub fn kept(&self, names: &Names) -> Vec<Kept> {
+    pub fn saved_flows(&self, names: &TrafficNames) -> Vec<SavedFlow> {
         let number = |names: &[String], name: &str| names.iter().position(|n| n == name);
         let flow = |f: &FlowReport| -> Option<Flow> {
             Some(Flow {
@@ -227,10 +233,10 @@
                 purpose: purpose_of(&f.purpose)?,
             })
         };
-        let mut all: BTreeMap<Flow, Kept> = BTreeMap::new();
+        let mut all: BTreeMap<Flow, SavedFlow> = BTreeMap::new();
         for f in &self.flows {
             let flow = flow(f).unwrap_or(REST);
-            let kept = all.entry(flow).or_insert(Kept {
+            let kept = all.entry(flow).or_insert(SavedFlow {
                 flow,
                 bytes: [0; 3],
                 overstated: 0,
@@ -255,8 +261,8 @@
 }
 
 /// Reports of many fronts as one. A front that is told of twice, by itself and by what it kept, counts once: its latest.
-pub fn together(reports: impl IntoIterator<Item = Report>) -> Report {
-    let mut latest: BTreeMap<u32, Report> = BTreeMap::new();
+pub fn merge(reports: impl IntoIterator<Item = TrafficReport>) -> TrafficReport {
+    let mut latest: BTreeMap<u32, TrafficReport> = BTreeMap::new();
     for report in reports {
         match latest.get(&report.front) {
             Some(known) if known.at_ms >= report.at_ms => {}
@@ -265,7 +271,7 @@
     }
     let mut flows: BTreeMap<[String; 6], FlowReport> = BTreeMap::new();
     let mut budgets: BTreeMap<[String; 3], BudgetReport> = BTreeMap::new();
-    let mut all = Report::default();
+    let mut all = TrafficReport::default();
     for report in latest.into_values() {
         all.at_ms = all.at_ms.max(report.at_ms);
         all.unsettled_sessions += report.unsettled_sessions;
@@ -308,13 +314,13 @@
     all
 }
 
-fn joined(a: &[Bytes], b: &[Bytes]) -> Vec<Bytes> {
+fn joined(a: &[ByteTotals], b: &[ByteTotals]) -> Vec<ByteTotals> {
     let mut sums: BTreeMap<u64, u64> = BTreeMap::new();
     for span in a.iter().chain(b) {
         let sum = sums.entry(span.at_ms).or_default();
         *sum = sum.saturating_add(span.bytes);
     }
     sums.into_iter()
-        .map(|(at_ms, bytes)| Bytes { at_ms, bytes })
+        .map(|(at_ms, bytes)| ByteTotals { at_ms, bytes })
         .collect()
 }
--- a/crates/traffic/src/desk.rs
+++ b/crates/cross-zone-traffic/src/traffic_controller.rs
@@ -1,10 +1,13 @@
 //! What a front keeps of its traffic between halls: the account, the budgets, and how events of sessions feed both.
 //!
-//! Events in, changes and orders out; times are given. The placement module is told what [`Desk::changes`] says before a
-//! request is placed, and what [`Desk::tick`] orders.
-use crate::account::{Account, Flow, Kept, Purpose, Terms as Keeping};
-use crate::budget::Place;
-use crate::crossing::{Cause, Crossing, Leave, Limit, Orders, Standing, Start};
+//! Events in, changes and orders out; times are given. The placement module is told what [`TrafficController::policy_changes`] says before a
+//! request is placed, and what [`TrafficController::tick`] orders.
+use crate::budget::FrontPosition;
+use crate::cross_zone_admission::{
+    BudgetStatus, CapReason, CrossZoneAdmission, CrossZoneLimit, CrossZonePolicy, RateCapChanges,
+    SessionStart,
+};
+use crate::usage_accounting::{Flow, Purpose, SavedFlow, UsageAccount, UsageConfig as Keeping};
 use crate::SECOND;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -21,7 +24,7 @@
 
 /// A class as far as traffic is concerned.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Class {
+pub struct TrafficClass {
     /// Whether it goes before the budget.
     pub paid: bool,
     /// Its rate at each rung, kB a second.
@@ -30,22 +33,22 @@
 
 /// What holds for a front.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Terms {
+pub struct TrafficConfig {
     /// Which front it is.
-    pub place: Place,
+    pub place: FrontPosition,
     /// Its zone, which is that of its viewers.
     pub zone: u8,
     /// Classes by number.
-    pub classes: Vec<Class>,
+    pub classes: Vec<TrafficClass>,
     /// Budgets for what goes from other zones to its own.
-    pub limits: Vec<Limit>,
+    pub limits: Vec<CrossZoneLimit>,
     /// How late notes and reports are, nanoseconds.
     pub note_delay: u64,
 }
 
 /// An attempt to set a session up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Attempt {
+pub struct AttemptUsage {
     /// The attempt, never used twice.
     pub id: u64,
     /// Its number within its request, from 0.
@@ -64,29 +67,29 @@
 
 /// A front's account and budgets.
 #[derive(Clone, Debug)]
-pub struct Desk {
-    terms: Terms,
-    account: Account,
-    crossing: Crossing,
-    zones: HashMap<u32, u8>,                  // Of servers.
-    up: BTreeMap<u8, BTreeSet<u32>>,          // By zone.
-    heard: HashMap<u32, u64>,                 // When a server last said anything.
-    out: HashMap<u64, (Attempt, Flow, bool)>, // Attempts under way, and whether they play.
-    loose: BTreeMap<u64, (Flow, u64)>,        // Attempts that came to nothing, and when.
+pub struct TrafficController {
+    terms: TrafficConfig,
+    account: UsageAccount,
+    crossing: CrossZoneAdmission,
+    zones: HashMap<u32, u8>,                       // Of servers.
+    up: BTreeMap<u8, BTreeSet<u32>>,               // By zone.
+    heard: HashMap<u32, u64>,                      // When a server last said anything.
+    out: HashMap<u64, (AttemptUsage, Flow, bool)>, // Attempts under way, and whether they play.
+    loose: BTreeMap<u64, (Flow, u64)>,             // Attempts that came to nothing, and when.
 }
 
-impl Desk {
+impl TrafficController {
     /// Nothing counted yet.
-    pub fn new(terms: Terms) -> Desk {
+    pub fn new(terms: TrafficConfig) -> TrafficController {
         let settle = PATIENCE.0 * terms.note_delay + PATIENCE.1;
         let paid = terms.classes.iter().map(|c| c.paid).collect();
-        Desk {
-            account: Account::new(Keeping {
+        TrafficController {
+            account: UsageAccount::new(Keeping {
                 settle,
                 hold: HOLD,
                 flows: FLOWS,
             }),
-            crossing: Crossing::new(paid, &terms.limits, terms.place, LENGTH),
+            crossing: CrossZoneAdmission::new(paid, &terms.limits, terms.place, LENGTH),
             zones: HashMap::new(),
             up: BTreeMap::new(),
             heard: HashMap::new(),
@@ -107,7 +110,7 @@
     // ---- servers ----
 
     /// A server is listed in a zone; whether it takes or ends work there.
-    pub fn listed(&mut self, server: u32, zone: u8, up: bool) {
+    pub fn endpoint_listed(&mut self, server: u32, zone: u8, up: bool) {
         if let Some(before) = self
             .zones
             .insert(server, zone)
@@ -126,12 +129,12 @@
             self.tell_up(zone);
         }
         if !up {
-            self.crossing.lost(zone, server);
+            self.crossing.server_lost(zone, server);
         }
     }
 
     /// The whole list: what is not in it is no more.
-    pub fn listed_only(&mut self, servers: &BTreeSet<u32>) {
+    pub fn retain_endpoints(&mut self, servers: &BTreeSet<u32>) {
         let gone: Vec<(u32, u8)> = self
             .zones
             .iter()
@@ -139,12 +142,12 @@
             .map(|(id, zone)| (*id, *zone))
             .collect();
         gone.into_iter()
-            .for_each(|(id, zone)| self.listed(id, zone, false));
+            .for_each(|(id, zone)| self.endpoint_listed(id, zone, false));
     }
 
     fn tell_up(&mut self, zone: u8) {
         self.crossing
-            .listed(zone, self.up.get(&zone).cloned().unwrap_or_default());
+            .update_servers(zone, self.up.get(&zone).cloned().unwrap_or_default());
     }
 
     /// The zone that a server is listed in.
@@ -153,13 +156,13 @@
     }
 
     /// A server lived until now, whether or not it does any more.
-    pub fn lived(&mut self, server: u32, now: u64) {
+    pub fn server_alive(&mut self, server: u32, now: u64) {
         self.heard.insert(server, now);
     }
 
     /// A server said something.
-    pub fn heard(&mut self, server: u32, now: u64) {
-        self.lived(server, now);
+    pub fn server_connected(&mut self, server: u32, now: u64) {
+        self.server_alive(server, now);
         let zone = self.zones.get(&server).copied();
         if let Some(zone) = zone.filter(|zone| self.up.entry(*zone).or_default().insert(server)) {
             self.tell_up(zone);
@@ -167,25 +170,29 @@
     }
 
     /// A server can't be reached: until it is heard again nothing crosses from it.
-    pub fn lost(&mut self, server: u32) {
+    pub fn server_lost(&mut self, server: u32) {
         if let Some(zone) = self.zones.get(&server).copied() {
             self.up.entry(zone).or_default().remove(&server);
-            self.crossing.lost(zone, server);
+            self.crossing.server_lost(zone, server);
         }
     }
 
     /// A server reports what crosses from it to this front's zone, kB a second by class, all fronts together.
-    pub fn reported(&mut self, server: u32, kb: BTreeMap<u8, f64>, now: u64) {
-        self.heard(server, now);
+    pub fn usage_reported(&mut self, server: u32, kb: BTreeMap<u8, f64>, now: u64) {
+        self.server_connected(server, now);
         if let Some(zone) = self.zones.get(&server) {
-            self.crossing
-                .heard(*zone, server, now.saturating_sub(self.terms.note_delay), kb);
+            self.crossing.usage_reported(
+                *zone,
+                server,
+                now.saturating_sub(self.terms.note_delay),
+                kb,
+            );
         }
     }
 
     /// A server says what share of all rates it delivers; heard now, it speaks of the time before its delay.
-    pub fn delivers(&mut self, server: u32, share: f64, now: u64) {
-        self.heard(server, now);
+    pub fn delivery_reported(&mut self, server: u32, share: f64, now: u64) {
+        self.server_connected(server, now);
         self.account
             .share(server, share, now.saturating_sub(self.terms.note_delay));
     }
@@ -193,12 +200,12 @@
     // ---- sessions ----
 
     /// A request of a class came.
-    pub fn asked(&mut self, class: u8, now: u64) {
-        self.crossing.asked(now, class);
+    pub fn session_requested(&mut self, class: u8, now: u64) {
+        self.crossing.session_requested(now, class);
     }
 
     /// An attempt goes out.
-    pub fn attempt(&mut self, attempt: Attempt) {
+    pub fn attempt_started(&mut self, attempt: AttemptUsage) {
         let flow = Flow {
             from: self
                 .zones
@@ -219,7 +226,7 @@
     }
 
     /// An attempt came to play.
-    pub fn started(&mut self, id: u64, now: u64) {
+    pub fn session_established(&mut self, id: u64, now: u64) {
         let Some((attempt, flow, plays)) = self.out.get_mut(&id) else {
             return;
         };
@@ -236,14 +243,14 @@
                 .get(&self.terms.zone)
                 .is_some_and(|up| !up.is_empty());
             let cause = if home_up {
-                Cause::HallFull
+                CapReason::HallFull
             } else {
-                Cause::HallLost
+                CapReason::HallLost
             };
             let (session, from, class) = (id, flow.from, flow.class);
             self.crossing.start(
                 now,
-                Start {
+                SessionStart {
                     session,
                     from,
                     class,
@@ -256,7 +263,7 @@
     }
 
     /// A session's rung changed.
-    pub fn rung(&mut self, id: u64, rung: u8, now: u64) {
+    pub fn rung_changed(&mut self, id: u64, rung: u8, now: u64) {
         let Some((attempt, ..)) = self.out.get(&id) else {
             return;
         };
@@ -267,7 +274,7 @@
 
     /// An attempt or session is over. `lost`: its server is gone and will say nothing more; then it flowed until the
     /// server was last heard.
-    pub fn ended(&mut self, id: u64, lost: bool, now: u64) {
+    pub fn attempt_ended(&mut self, id: u64, lost: bool, now: u64) {
         let Some((attempt, flow, plays)) = self.out.remove(&id) else {
             return;
         };
@@ -290,7 +297,7 @@
     }
 
     /// A server counted so many bytes for a session by now; heard now, it speaks of the time before its delay.
-    pub fn counted(&mut self, id: u64, bytes: u64, now: u64) {
+    pub fn bytes_counted(&mut self, id: u64, bytes: u64, now: u64) {
         if self.out.get(&id).is_some_and(|(.., plays)| *plays) {
             self.account
                 .count(id, bytes, now.saturating_sub(self.terms.note_delay));
@@ -298,7 +305,7 @@
     }
 
     /// A server's last word on an attempt or session: all that it sent.
-    pub fn last_word(&mut self, id: u64, bytes: u64, now: u64) {
+    pub fn final_bytes_counted(&mut self, id: u64, bytes: u64, now: u64) {
         match self.loose.remove(&id) {
             Some((flow, _)) => self.account.once(flow, bytes, now),
             None => self.account.final_count(id, bytes),
@@ -309,36 +316,36 @@
 
     /// Zones, classes and how these may leave for those: what changed since it was last asked. Tell it to the placement
     /// before a request is placed.
-    pub fn changes(&mut self, now: u64) -> Vec<(u8, u8, Leave)> {
-        self.crossing.changes(now)
+    pub fn policy_changes(&mut self, now: u64) -> Vec<(u8, u8, CrossZonePolicy)> {
+        self.crossing.policy_changes(now)
     }
 
     /// Zones all of whose servers this front needs to hear now.
-    pub fn listens(&self, now: u64) -> BTreeSet<u8> {
-        self.crossing.listens(now)
+    pub fn zones_observed(&self, now: u64) -> BTreeSet<u8> {
+        self.crossing.zones_observed(now)
     }
 
     /// Whether a server lies in one of these zones and is up.
-    pub fn is_in(&self, server: u32, zones: &BTreeSet<u8>) -> bool {
+    pub fn is_in_zones(&self, server: u32, zones: &BTreeSet<u8>) -> bool {
         let zone = self.zones.get(&server).filter(|zone| zones.contains(zone));
         zone.and_then(|zone| self.up.get(zone))
             .is_some_and(|up| up.contains(&server))
     }
 
     /// Call it about once a second; which sessions are to be lowered or may rise again.
-    pub fn tick(&mut self, now: u64) -> Orders {
+    pub fn tick(&mut self, now: u64) -> RateCapChanges {
         self.loose
             .retain(|_, (_, at)| now.saturating_sub(*at) < LAST_WORD);
         self.crossing.tick(now)
     }
 
     /// Settles up to `most` sessions; whether that was the last of a round.
-    pub fn settle(&mut self, now: u64, most: usize) -> bool {
-        self.account.settle(now, most)
+    pub fn settle_usage(&mut self, now: u64, most: usize) -> bool {
+        self.account.settle_until(now, most)
     }
 
     /// Other terms from now on; what was counted, flows and is owed stays. Classes keep their numbers.
-    pub fn change(&mut self, terms: Terms) {
+    pub fn change(&mut self, terms: TrafficConfig) {
         self.crossing.change(&terms.limits, terms.place);
         self.terms = terms;
     }
@@ -346,17 +353,17 @@
     // ---- what is told ----
 
     /// The account.
-    pub fn account(&self) -> &Account {
+    pub fn usage(&self) -> &UsageAccount {
         &self.account
     }
 
     /// How the budgets stand.
-    pub fn standings(&mut self, now: u64) -> Vec<Standing> {
-        self.crossing.standings(now)
+    pub fn budget_statuses(&mut self, now: u64) -> Vec<BudgetStatus> {
+        self.crossing.budget_statuses(now)
     }
 
     /// Takes over what an earlier life kept.
-    pub fn restore(&mut self, kept: &[Kept]) -> bool {
+    pub fn restore(&mut self, kept: &[SavedFlow]) -> bool {
         self.account.restore(kept)
     }
 }
--- a/crates/traffic/src/account.rs
+++ b/crates/cross-zone-traffic/src/usage_accounting.rs
@@ -50,7 +50,7 @@
 
 /// How a flow's bytes are known.
 #[derive(Clone, Debug, Default)]
-pub struct Sums {
+pub struct FlowTotals {
     /// Counted by servers.
     pub measured: Windows,
     /// Estimated from rung and time, with a report of the share delivered.
@@ -61,7 +61,7 @@
     pub overstated: u64,
 }
 
-impl Sums {
+impl FlowTotals {
     /// All bytes of the flow.
     pub fn total(&self) -> u64 {
         let all = [&self.measured, &self.corrected, &self.estimated];
@@ -71,11 +71,11 @@
     }
 
     /// Bytes of the spans in which there were any, oldest first.
-    pub fn late(&self, span: Span) -> BTreeMap<u64, u64> {
+    pub fn recent(&self, span: Span) -> BTreeMap<u64, u64> {
         let mut all = BTreeMap::new();
         for windows in [&self.measured, &self.corrected, &self.estimated] {
             for (at, bytes) in windows
-                .late(span)
+                .recent(span)
                 .into_iter()
                 .filter(|(_, bytes)| *bytes > 0)
             {
@@ -89,7 +89,7 @@
 
 /// How an account is kept. Times in nanoseconds.
 #[derive(Clone, Copy, Debug)]
-pub struct Terms {
+pub struct UsageConfig {
     /// Bytes are settled when they are so old: the latest that a count or report is waited for.
     pub settle: u64,
     /// A report of the share holds until the next, but no longer than this.
@@ -100,7 +100,7 @@
 
 /// Totals of a flow that an earlier life kept.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Kept {
+pub struct SavedFlow {
     /// The flow.
     pub flow: Flow,
     /// Counted, corrected and estimated bytes.
@@ -139,13 +139,13 @@
 #[derive(Clone, Debug)]
 struct Book {
     most: usize,
-    sums: BTreeMap<Flow, Sums>,
+    sums: BTreeMap<Flow, FlowTotals>,
 }
 
 /// Counts bytes by flow.
 #[derive(Clone, Debug)]
-pub struct Account {
-    terms: Terms,
+pub struct UsageAccount {
+    terms: UsageConfig,
     book: Book,
     meters: BTreeMap<u64, Meter>,
     shares: Shares,
@@ -164,10 +164,10 @@
     purpose: Purpose::Playing,
 };
 
-impl Account {
+impl UsageAccount {
     /// Nothing counted yet.
-    pub fn new(terms: Terms) -> Account {
-        Account {
+    pub fn new(terms: UsageConfig) -> UsageAccount {
+        UsageAccount {
             terms,
             book: Book {
                 most: terms.flows,
@@ -288,7 +288,7 @@
     /// Settles what is old enough, `most` sessions at a time, so that no call takes long whatever the number of
     /// sessions; whether the round is complete. Call it until it is, about once a second. A time that goes back changes
     /// nothing.
-    pub fn settle(&mut self, now: u64, most: usize) -> bool {
+    pub fn settle_until(&mut self, now: u64, most: usize) -> bool {
         self.forward(now);
         let horizon = self.horizon();
         let from = self.cursor.map_or(Bound::Unbounded, Bound::Excluded);
@@ -326,7 +326,7 @@
     }
 
     /// Flows and their settled bytes.
-    pub fn flows(&self) -> impl Iterator<Item = (&Flow, &Sums)> {
+    pub fn flows(&self) -> impl Iterator<Item = (&Flow, &FlowTotals)> {
         self.book.sums.iter()
     }
 
@@ -343,7 +343,7 @@
     pub fn late(&self, span: Span, take: impl Fn(&Flow) -> bool) -> BTreeMap<u64, u64> {
         let mut all = BTreeMap::new();
         for (_, sums) in self.book.sums.iter().filter(|(f, _)| take(f)) {
-            for (at, bytes) in sums.late(span) {
+            for (at, bytes) in sums.recent(span) {
                 let sum: &mut u64 = all.entry(at).or_default();
                 *sum = sum.saturating_add(bytes);
             }
@@ -357,13 +357,13 @@
     }
 
     /// Counts and reports that came after their time was settled and their session was gone.
-    pub fn too_late(&self) -> u64 {
+    pub fn dropped_late_reports(&self) -> u64 {
         self.too_late
     }
 
     /// All that must survive a restart.
-    pub fn keep(&self) -> Vec<Kept> {
-        let kept = |(flow, sums): (&Flow, &Sums)| Kept {
+    pub fn snapshot(&self) -> Vec<SavedFlow> {
+        let kept = |(flow, sums): (&Flow, &FlowTotals)| SavedFlow {
             flow: *flow,
             bytes: [
                 sums.measured.total(),
@@ -371,14 +371,14 @@
                 sums.estimated.total(),
             ],
             overstated: sums.overstated,
-            hours: sums.late(Span::Hour).into_iter().collect(),
+            hours: sums.recent(Span::Hour).into_iter().collect(),
         };
         self.book.sums.iter().map(kept).collect()
     }
 
     /// Takes over what an earlier life kept; only into an account that has none, so that nothing is counted twice.
     /// False where it has.
-    pub fn restore(&mut self, kept: &[Kept]) -> bool {
+    pub fn restore(&mut self, kept: &[SavedFlow]) -> bool {
         if !self.book.sums.is_empty() {
             return false;
         }
@@ -451,7 +451,7 @@
 
 impl Book {
     /// The sums of a flow, or of the rest where there are too many.
-    fn of(&mut self, flow: Flow) -> &mut Sums {
+    fn of(&mut self, flow: Flow) -> &mut FlowTotals {
         let flow = if self.sums.contains_key(&flow) || self.sums.len() < self.most {
             flow
         } else {
--- a/crates/traffic/src/windows.rs
+++ b/crates/cross-zone-traffic/src/windows.rs
@@ -95,7 +95,7 @@
     }
 
     /// The late spans, oldest first: when each began and its bytes.
-    pub fn late(&self, span: Span) -> Vec<(u64, u64)> {
+    pub fn recent(&self, span: Span) -> Vec<(u64, u64)> {
         self.rings[span as usize].late()
     }
 }
@@ -113,7 +113,7 @@
         w.add(start + 61 * SECOND, 7);
         w.add(start + 30 * SECOND, 1); // Late, and counted where it belongs.
         let at = |w: &Windows, span, at: u64| {
-            w.late(span)
+            w.recent(span)
                 .into_iter()
                 .find(|(t, _)| *t == at)
                 .map(|(_, b)| b)
@@ -123,11 +123,14 @@
         assert_eq!((at(&w, Span::Hour, start), w.total()), (Some(13), 13));
         w.add(start + 400 * SECOND, 2);
         assert_eq!(at(&w, Span::Second, start + 61 * SECOND), None);
-        assert_eq!(w.late(Span::Second).iter().map(|(_, b)| b).sum::<u64>(), 2);
+        assert_eq!(
+            w.recent(Span::Second).iter().map(|(_, b)| b).sum::<u64>(),
+            2
+        );
         w.add(start, 100); // Too old for a second's sum.
         assert_eq!(
             (
-                w.late(Span::Second).iter().map(|(_, b)| b).sum::<u64>(),
+                w.recent(Span::Second).iter().map(|(_, b)| b).sum::<u64>(),
                 w.total()
             ),
             (2, 115)
--- a/crates/traffic/tests/account.rs
+++ b/crates/cross-zone-traffic/tests/account.rs
@@ -1,9 +1,11 @@
 //! The account against a world that knows what was really sent.
-use crankpaddle_traffic::account::{Account, Flow, Purpose, Terms, REST};
-use crankpaddle_traffic::windows::Span;
+use crankpaddle_cross_zone_traffic::usage_accounting::{
+    Flow, Purpose, UsageAccount, UsageConfig, REST,
+};
+use crankpaddle_cross_zone_traffic::windows::Span;
 
 const SECOND: u64 = 1_000_000_000;
-const TERMS: Terms = Terms {
+const TERMS: UsageConfig = UsageConfig {
     settle: 8 * SECOND,
     hold: 2 * SECOND,
     flows: 100,
@@ -24,16 +26,16 @@
 
 #[test]
 fn rungs_and_time_make_bytes_and_fractions_are_not_lost() {
-    let mut a = Account::new(TERMS);
+    let mut a = UsageAccount::new(TERMS);
     a.start(1, flow(1, 0), 7, 100.0, 1000 * SECOND);
     a.rate(1, 300.0, 1010 * SECOND);
     a.end(1, 1015 * SECOND);
     for n in 0..4000u64 {
-        while !a.settle(1000 * SECOND + n * SECOND / 100, 1) {}
+        while !a.settle_until(1000 * SECOND + n * SECOND / 100, 1) {}
     }
     assert!(
         near(
-            a.total(crankpaddle_traffic::account::Flow::crosses),
+            a.total(crankpaddle_cross_zone_traffic::usage_accounting::Flow::crosses),
             2_500_000.0,
             0.0001
         ),
@@ -49,8 +51,8 @@
 }
 
 /// A server short between seconds 20 and 40; its reports come as the case has it.
-fn short_delivery(reports: &[(u64, f64)], order: impl Fn(usize) -> u64) -> Account {
-    let mut a = Account::new(TERMS);
+fn short_delivery(reports: &[(u64, f64)], order: impl Fn(usize) -> u64) -> UsageAccount {
+    let mut a = UsageAccount::new(TERMS);
     a.start(1, flow(1, 0), 7, 100.0, 1010 * SECOND);
     a.start(2, flow(1, 1), 7, 50.0, 1010 * SECOND);
     for second in 10..70u64 {
@@ -65,7 +67,7 @@
         if second == 50 {
             a.end(1, 1050 * SECOND);
         }
-        while !a.settle((1000 + second) * SECOND, 1) {}
+        while !a.settle_until((1000 + second) * SECOND, 1) {}
     }
     a
 }
@@ -99,7 +101,11 @@
             near(account.total(|f| f.class == 1), second, 0.0001),
             "{what}"
         );
-        assert_eq!((account.too_late(), account.sessions()), (0, 0), "{what}");
+        assert_eq!(
+            (account.dropped_late_reports(), account.sessions()),
+            (0, 0),
+            "{what}"
+        );
     }
 }
 
@@ -112,7 +118,7 @@
     // All are 20 s late: they change nothing that is settled.
     let a = short_delivery(&told(), |_| 20);
     assert_eq!(a.total(|f| f.class == 0), 4_000_000);
-    assert_eq!(a.too_late(), 21);
+    assert_eq!(a.dropped_late_reports(), 21);
     // What is estimated and what is corrected stand apart.
     let a = short_delivery(&told(), |_| 1);
     let sums = a.flows().find(|(f, _)| f.class == 0).unwrap().1;
@@ -126,17 +132,17 @@
 
 #[test]
 fn clocks_that_step_back_and_strange_reports_count_nothing_twice() {
-    let mut a = Account::new(TERMS);
+    let mut a = UsageAccount::new(TERMS);
     a.start(1, flow(1, 0), 7, 100.0, 1000 * SECOND);
     a.start(1, flow(1, 1), 7, 900.0, 1000 * SECOND);
     for now in [1005, 1020, 1010, 1020, 900, 1030] {
-        while !a.settle(now * SECOND, 1) {}
+        while !a.settle_until(now * SECOND, 1) {}
         a.share(7, f64::NAN, now * SECOND);
         a.share(7, 0.1, u64::MAX);
     }
     a.end(1, 990 * SECOND);
     a.end(1, 2000 * SECOND);
-    while !a.settle(1050 * SECOND, 1) {}
+    while !a.settle_until(1050 * SECOND, 1) {}
     // An end before what was settled already ends there.
     assert!(
         near(a.total(|_| true), 2_200_000.0, 0.0001),
@@ -147,7 +153,7 @@
 
 #[test]
 fn flows_beyond_the_bound_are_counted_as_the_rest() {
-    let mut a = Account::new(Terms { flows: 3, ..TERMS });
+    let mut a = UsageAccount::new(UsageConfig { flows: 3, ..TERMS });
     for n in 0..10u16 {
         a.start(
             u64::from(n),
@@ -160,7 +166,7 @@
             1000 * SECOND,
         );
     }
-    while !a.settle(1018 * SECOND, 1) {}
+    while !a.settle_until(1018 * SECOND, 1) {}
     assert_eq!(a.flows().count(), 4);
     assert!(
         near(a.total(|f| *f == REST), 700_000.0, 0.0001)
@@ -170,9 +176,9 @@
 
 #[test]
 fn totals_survive_a_restart_once() {
-    let mut a = Account::new(TERMS);
+    let mut a = UsageAccount::new(TERMS);
     a.start(1, flow(1, 0), 7, 100.0, 1000 * SECOND);
-    while !a.settle(1018 * SECOND, 1) {}
+    while !a.settle_until(1018 * SECOND, 1) {}
     a.once(
         Flow {
             purpose: Purpose::Nothing,
@@ -181,10 +187,10 @@
         77,
         1000 * SECOND,
     );
-    let kept = a.keep();
-    let mut b = Account::new(TERMS);
+    let kept = a.snapshot();
+    let mut b = UsageAccount::new(TERMS);
     assert!(b.restore(&kept) && !b.restore(&kept), "counted once");
-    assert_eq!(b.keep(), kept);
+    assert_eq!(b.snapshot(), kept);
     assert_eq!(b.total(|_| true), a.total(|_| true));
     assert_eq!(b.late(Span::Hour, |_| true), a.late(Span::Hour, |_| true));
 }
@@ -195,8 +201,8 @@
     sent: impl Fn(f64) -> f64,
     order: impl Fn(u64) -> Option<u64>,
     last: Option<u64>,
-) -> Account {
-    let mut a = Account::new(TERMS);
+) -> UsageAccount {
+    let mut a = UsageAccount::new(TERMS);
     let at = |second: u64| (1000 + second) * SECOND;
     a.start(1, flow(1, 0), 7, 100.0, at(10));
     let total = |second: u64| {
@@ -216,7 +222,7 @@
         if last.is_some_and(|late| 50 + late == second) {
             a.final_count(1, (total(50) * 1000.0) as u64);
         }
-        while !a.settle(at(second), 1) {}
+        while !a.settle_until(at(second), 1) {}
     }
     assert_eq!(a.sessions(), 0);
     a
@@ -250,7 +256,7 @@
         assert!(near(total, truth, 0.0001), "{what}: {total} of {truth}");
         let (_, sums) = account.flows().next().unwrap();
         let told = [&sums.measured, &sums.corrected, &sums.estimated]
-            .map(crankpaddle_traffic::windows::Windows::total);
+            .map(crankpaddle_cross_zone_traffic::windows::Windows::total);
         assert_eq!(told.iter().sum::<u64>() - sums.overstated, total);
         assert_eq!(
             told[2] == 0,
@@ -306,14 +312,19 @@
 #[test]
 fn a_last_word_after_the_session_was_settled_is_told_as_too_late() {
     let a = counted(odd, |_| None, Some(20));
-    assert_eq!((a.too_late(), a.total(|_| true)), (1, 4_000_000));
+    assert_eq!(
+        (a.dropped_late_reports(), a.total(|_| true)),
+        (1, 4_000_000)
+    );
 }
 
 #[test]
 fn a_thousand_sessions_are_settled_in_bounded_steps() {
-    let mut a = Account::new(TERMS);
+    let mut a = UsageAccount::new(TERMS);
     (0..1000).for_each(|n| a.start(n, flow(1, 0), 7, 100.0, 1000 * SECOND));
-    let steps = (0..).take_while(|_| !a.settle(1018 * SECOND, 64)).count();
+    let steps = (0..)
+        .take_while(|_| !a.settle_until(1018 * SECOND, 64))
+        .count();
     assert_eq!(steps, 15, "15 whole steps and a last one");
     assert_eq!(a.total(|_| true), 1000 * 1_000_000);
 }
--- a/crates/traffic/tests/fronts.rs
+++ b/crates/cross-zone-traffic/tests/fronts.rs
@@ -1,13 +1,15 @@
 //! Many fronts that share a budget and never talk, on one given clock. Servers report what crosses, late.
-use crankpaddle_traffic::budget::{Budget, Place, Shared};
-use crankpaddle_traffic::crossing::{Cause, Crossing, Leave, Limit, Start};
+use crankpaddle_cross_zone_traffic::budget::{Budget, FrontPosition, SharedBudget};
+use crankpaddle_cross_zone_traffic::cross_zone_admission::{
+    CapReason, CrossZoneAdmission, CrossZoneLimit, CrossZonePolicy, SessionStart,
+};
 use oorandom::Rand64;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 const SECOND: u64 = 1_000_000_000;
 const RATE_KB: f64 = 40_000.0;
 /// Thirty seconds of the rate: with 240 fronts a part of it is still some sessions.
-const SHARED: Shared = Shared {
+const SHARED: SharedBudget = SharedBudget {
     rate_kb: RATE_KB,
     burst: 1.2e9,
     volume: f64::INFINITY,
@@ -20,30 +22,30 @@
 const PAID: u8 = 1;
 const SERVERS: u32 = 10;
 
-fn limit(from: u8, shared: Shared) -> Limit {
-    Limit {
+fn limit(from: u8, shared: SharedBudget) -> CrossZoneLimit {
+    CrossZoneLimit {
         from,
         class: None,
         shared,
     }
 }
 
-fn start(session: u64, class: u8, kb: f64) -> Start {
-    Start {
+fn start(session: u64, class: u8, kb: f64) -> SessionStart {
+    SessionStart {
         session,
         from: 1,
         class,
         kb,
         least_kb: KB[0],
-        cause: Cause::HallLost,
+        cause: CapReason::HallLost,
     }
 }
 
-fn one(limits: &[Limit], siblings: u32) -> Crossing {
-    Crossing::new(
+fn one(limits: &[CrossZoneLimit], siblings: u32) -> CrossZoneAdmission {
+    CrossZoneAdmission::new(
         vec![false, true],
         limits,
-        Place { index: 0, siblings },
+        FrontPosition { index: 0, siblings },
         10.0,
     )
 }
@@ -58,7 +60,7 @@
 }
 
 struct World {
-    fronts: Vec<Crossing>,
+    fronts: Vec<CrossZoneAdmission>,
     playing: Vec<Playing>,
     reports: VecDeque<(u64, Vec<BTreeMap<u8, f64>>)>, // When told, and by server.
     delay: u64,
@@ -72,15 +74,15 @@
 }
 
 impl World {
-    fn new(fronts: u32, shared: Shared, seed: u64) -> World {
-        let place = |index| Place {
+    fn new(fronts: u32, shared: SharedBudget, seed: u64) -> World {
+        let place = |index| FrontPosition {
             index,
             siblings: fronts,
         };
         let front = |index| {
             let mut front =
-                Crossing::new(vec![false, true], &[limit(1, shared)], place(index), 10.0);
-            front.listed(1, (0..SERVERS).collect::<BTreeSet<u32>>());
+                CrossZoneAdmission::new(vec![false, true], &[limit(1, shared)], place(index), 10.0);
+            front.update_servers(1, (0..SERVERS).collect::<BTreeSet<u32>>());
             front
         };
         World {
@@ -112,9 +114,9 @@
                 break;
             };
             for front in &mut self.fronts {
-                if front.listens(self.now).contains(&1) {
+                if front.zones_observed(self.now).contains(&1) {
                     for (server, kb) in by_server.iter().enumerate() {
-                        front.heard(1, server as u32, at, kb.clone());
+                        front.usage_reported(1, server as u32, at, kb.clone());
                     }
                 }
             }
@@ -186,13 +188,13 @@
             PREVIEW
         };
         let kb = KB[self.rng.rand_range(0..3) as usize];
-        self.fronts[front].asked(self.now, class);
-        let leave = self.fronts[front].leave(self.now, 1, class);
-        if leave == Leave::Never {
+        self.fronts[front].session_requested(self.now, class);
+        let leave = self.fronts[front].policy(self.now, 1, class);
+        if leave == CrossZonePolicy::Forbidden {
             return;
         }
         assert!(
-            leave == Leave::Free || class == PAID,
+            leave == CrossZonePolicy::Allowed || class == PAID,
             "only paid service goes beyond the budget"
         );
         self.next += 1;
@@ -332,8 +334,8 @@
         paid > RATE_KB * 1000.0 * 300.0 * 1.2,
         "paid service is not held back: {paid}"
     );
-    let standing = world.fronts[3].standings(world.now).remove(0);
-    assert!(standing.overdrafts[&Cause::HallLost] > 0.0 && standing.written_off > 0.0);
+    let standing = world.fronts[3].budget_statuses(world.now).remove(0);
+    assert!(standing.overdrafts[&CapReason::HallLost] > 0.0 && standing.written_off > 0.0);
     // The hall is back: only previews want to cross now, and they wait until the overdraft is repaid.
     let waiting = world.share(30, 40.0, even);
     assert!(waiting < 0.5, "{waiting}");
@@ -357,7 +359,7 @@
     let overdrawn: f64 = (10..510).map(|n| c.start(now, start(n, PAID, 600.0))).sum();
     assert!(overdrawn > 0.0);
     assert_eq!(c.tick(now).lower, [2, 3]);
-    let standing = c.standings(now).remove(0);
+    let standing = c.budget_statuses(now).remove(0);
     assert_eq!(
         (standing.crossing_kb, standing.lowered),
         ((300_000.0, 300.0), 2)
@@ -367,35 +369,41 @@
         "what was lowered must first show"
     );
     assert_eq!(
-        (c.leave(now, 1, PREVIEW), c.leave(now, 1, PAID)),
-        (Leave::Never, Leave::Last)
+        (c.policy(now, 1, PREVIEW), c.policy(now, 1, PAID)),
+        (CrossZonePolicy::Forbidden, CrossZonePolicy::LastResort)
     );
     assert_eq!(
-        c.leave(now, 2, PREVIEW),
-        Leave::Free,
+        c.policy(now, 2, PREVIEW),
+        CrossZonePolicy::Allowed,
         "a zone without a budget"
     );
     // Ended sooner than expected, they give back what they did not send; the cheaper one rises first.
     (10..510).for_each(|n| c.end(now + SECOND, n));
     let looks: Vec<Vec<u64>> = (2..90).map(|s| c.tick(now + s * SECOND).restore).collect();
     assert_eq!(looks.concat(), [3, 2]);
-    assert_eq!(c.leave(now + 90 * SECOND, 1, PREVIEW), Leave::Free);
+    assert_eq!(
+        c.policy(now + 90 * SECOND, 1, PREVIEW),
+        CrossZonePolicy::Allowed
+    );
 }
 
 #[test]
 fn only_what_changes_is_told_and_a_taken_budget_frees_its_zone() {
     let mut c = one(&[limit(1, SHARED)], 1);
     let now = 1000 * SECOND;
-    assert_eq!(c.changes(now), []);
+    assert_eq!(c.policy_changes(now), []);
     (0..400).for_each(|n| {
         c.start(now, start(n, PAID, 600.0));
     });
     assert_eq!(
-        c.changes(now),
-        [(1, PREVIEW, Leave::Never), (1, PAID, Leave::Last)]
+        c.policy_changes(now),
+        [
+            (1, PREVIEW, CrossZonePolicy::Forbidden),
+            (1, PAID, CrossZonePolicy::LastResort)
+        ]
     );
-    assert_eq!(c.changes(now), []);
-    let place = Place {
+    assert_eq!(c.policy_changes(now), []);
+    let place = FrontPosition {
         index: 0,
         siblings: 1,
     };
@@ -403,7 +411,7 @@
         &[
             limit(
                 1,
-                Shared {
+                SharedBudget {
                     rate_kb: 2.0 * RATE_KB,
                     burst: 2.4e9,
                     ..SHARED
@@ -414,31 +422,34 @@
         place,
     );
     assert!(
-        c.standings(now)[0].level > 0.9 && c.standings(now)[1].level == 0.0,
+        c.budget_statuses(now)[0].level > 0.9 && c.budget_statuses(now)[1].level == 0.0,
         "what is owed stays"
     );
     c.change(
         &[limit(2, SHARED)],
-        Place {
+        FrontPosition {
             index: 0,
             siblings: 2,
         },
     );
     assert_eq!(
-        c.changes(now),
-        [(1, PREVIEW, Leave::Free), (1, PAID, Leave::Free)]
+        c.policy_changes(now),
+        [
+            (1, PREVIEW, CrossZonePolicy::Allowed),
+            (1, PAID, CrossZonePolicy::Allowed)
+        ]
     );
 }
 
 #[test]
 fn a_class_may_have_a_budget_of_its_own_and_previews_repay_what_paid_service_overdrew_in_it() {
-    let tight = Shared {
+    let tight = SharedBudget {
         rate_kb: 100.0,
         burst: 4e6,
         ..SHARED
     };
     let limits = [
-        Limit {
+        CrossZoneLimit {
             from: 1,
             class: Some(PAID),
             shared: tight,
@@ -449,12 +460,12 @@
     let now = 1000 * SECOND;
     assert_eq!(c.start(now, start(1, PAID, 600.0)), 0.0);
     assert_eq!(
-        (c.leave(now, 1, PAID), c.leave(now, 1, PREVIEW)),
-        (Leave::Last, Leave::Free)
+        (c.policy(now, 1, PAID), c.policy(now, 1, PREVIEW)),
+        (CrossZonePolicy::LastResort, CrossZonePolicy::Allowed)
     );
-    let before = c.standings(now)[0].level;
+    let before = c.budget_statuses(now)[0].level;
     assert!(c.start(now, start(2, PAID, 600.0)) > 0.0);
-    let standings = c.standings(now);
+    let standings = c.budget_statuses(now);
     let general = standings.iter().find(|s| s.limit.class.is_none()).unwrap();
     assert!(
         general.level > before && general.level > 0.0,
@@ -467,7 +478,7 @@
     let mut c = one(
         &[limit(
             1,
-            Shared {
+            SharedBudget {
                 rate_kb: 0.0,
                 ..SHARED
             },
@@ -476,18 +487,21 @@
     );
     let now = 1000 * SECOND;
     assert_eq!(
-        (c.leave(now, 1, PREVIEW), c.leave(now, 1, PAID)),
-        (Leave::Never, Leave::Last)
+        (c.policy(now, 1, PREVIEW), c.policy(now, 1, PAID)),
+        (CrossZonePolicy::Forbidden, CrossZonePolicy::LastResort)
     );
     assert_eq!(c.start(now, start(1, PAID, 100.0)), 1_000_000.0);
     c.end(now + SECOND, 1);
     c.tick(now + 2 * SECOND);
-    assert_eq!(c.leave(now + 900 * SECOND, 1, PREVIEW), Leave::Never);
+    assert_eq!(
+        c.policy(now + 900 * SECOND, 1, PREVIEW),
+        CrossZonePolicy::Forbidden
+    );
 }
 
 #[test]
 fn a_volume_is_held_in_each_period_and_clock_steps_change_nothing() {
-    let shared = Shared {
+    let shared = SharedBudget {
         rate_kb: 1e6,
         burst: 1e12,
         volume: 3e6,
@@ -496,7 +510,7 @@
     };
     let mut b = Budget::new(
         shared,
-        Place {
+        FrontPosition {
             index: 1,
             siblings: 3,
         },
--- a/crates/daemon/src/attempts.rs
+++ b/crates/daemon/src/attempts.rs
@@ -1,9 +1,9 @@
 //! Set-ups at servers, each a coroutine with a connection of its own while it lasts.
 use crate::shared::{Msg, Shared};
-use crankpaddle_front::{AttemptId, Input, Outcome, SetUp};
-use crankpaddle_net::exchange::{Fault, Wire};
+use crankpaddle_front::{AttemptId, AttemptOutcome, Input, SetUpResult};
+use crankpaddle_net::exchange::{ExchangeError, HttpExchange};
 use crankpaddle_net::{spawn, Socket, Stack};
-use crankpaddle_upstream::sessions;
+use crankpaddle_server_protocol::sessions;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -30,7 +30,7 @@
             State::Over,
         );
         if let State::On(socket) = before {
-            socket.shut();
+            socket.close();
         }
     }
 
@@ -64,12 +64,12 @@
 ) {
     spawn(Stack::Usual, move || {
         let came_out = carry(&shared, address, &bytes, &out);
-        shared.tell(Msg::Server(Input::SetUp(attempt, came_out)));
+        shared.tell(Msg::Server(Input::SetUpCompleted(attempt, came_out)));
     });
 }
 
-fn carry(shared: &Shared, address: SocketAddr, bytes: &[u8], out: &Out) -> SetUp {
-    let ended = |outcome| SetUp::Ended(outcome, Vec::new());
+fn carry(shared: &Shared, address: SocketAddr, bytes: &[u8], out: &Out) -> SetUpResult {
+    let ended = |outcome| SetUpResult::Ended(outcome, Vec::new());
     let socket = match shared.pool.take(&address) {
         Some(socket) => socket,
         None => match Socket::connect(&address, shared.connect_within()) {
@@ -78,25 +78,25 @@
                 shared.quick.watch(&socket);
                 socket
             }
-            Err(_) => return ended(Outcome::ConnectFailed),
+            Err(_) => return ended(AttemptOutcome::ConnectFailed),
         },
     };
     if !out.goes_on(&socket) {
-        return ended(Outcome::Moot);
+        return ended(AttemptOutcome::NotSent);
     }
     // "Never ran" is claimed only where nothing of the request was written; one byte of it may have been enough.
     if let Err((written, _)) = socket.write_all(bytes) {
         return ended(if written == 0 {
-            Outcome::ConnectFailed
+            AttemptOutcome::ConnectFailed
         } else {
-            Outcome::Reset
+            AttemptOutcome::Reset
         });
     }
-    let mut wire = Wire::new(socket.clone());
+    let mut wire = HttpExchange::new(socket.clone());
     let (response, body) = match wire.response(MOST_ANSWER) {
         Ok(answer) => answer,
-        Err(Fault::Closed | Fault::Broken) => return ended(Outcome::Reset),
-        Err(Fault::Bad(_)) => return ended(Outcome::Error),
+        Err(ExchangeError::Closed | ExchangeError::Broken) => return ended(AttemptOutcome::Reset),
+        Err(ExchangeError::Bad(_)) => return ended(AttemptOutcome::ServerError),
     };
     if out.answered() && response.keeps_alive() && wire.is_clean() {
         shared.pool.put(address, socket, shared.limits().pool_idle);
--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -1,9 +1,9 @@
 //! The list service, and the copy of the list on disk that a front starts from when the service is down.
 use crate::shared::{Msg, Shared};
 use crankpaddle_config::Config;
-use crankpaddle_net::exchange::{Fault, Wire};
+use crankpaddle_net::exchange::{ExchangeError, HttpExchange};
 use crankpaddle_net::{clock, sleep, spawn, Socket, Stack};
-use crankpaddle_upstream::list::{self, Held};
+use crankpaddle_server_protocol::list::{self, CachedEndpoints};
 use std::fs;
 use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -15,14 +15,14 @@
 const PAUSE: (u64, u64) = (100 * MILLISECOND, 2000 * MILLISECOND);
 
 /// The list as it was when this front last ran, if there is one.
-pub(crate) fn cached(config: &Config) -> io::Result<Option<Held>> {
+pub(crate) fn cached(config: &Config) -> io::Result<Option<CachedEndpoints>> {
     let Some(path) = &config.list_cache else {
         return Ok(None);
     };
     match fs::read_to_string(path) {
         Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(None),
         Err(e) => Err(io::Error::new(e.kind(), format!("{}: {e}", path.display()))),
-        Ok(text) => match Held::from_text(&text) {
+        Ok(text) => match CachedEndpoints::from_text(&text) {
             Ok(held) => Ok(Some(held)),
             // A broken copy must not keep a front from starting: the service will tell.
             Err(what) => {
@@ -57,7 +57,7 @@
     socket
         .write_all(&list::subscribe(&address.to_string(), shared.names.front()))
         .ok()?;
-    let mut wire = Wire::new(socket);
+    let mut wire = HttpExchange::new(socket);
     let head = wire.response_head().ok().filter(|h| h.status == 200)?;
     let mut events = wire.events(&head, silence).ok()?;
     let mut heard = None;
@@ -65,7 +65,7 @@
         let event = match events.next() {
             Ok(event) => event,
             Err(fault) => {
-                if let Fault::Bad(bad) = fault {
+                if let ExchangeError::Bad(bad) = fault {
                     tracing::warn!(%bad, "the list service's stream is malformed");
                 }
                 return heard;
--- a/crates/daemon/src/hub/paid.rs
+++ b/crates/daemon/src/event_loop/durable_setup.rs
@@ -1,15 +1,16 @@
 //! Paid set-ups on disk before they leave, and what becomes of those that a former life began.
-use super::{Hub, MILLISECOND};
+use super::{EventLoop, MILLISECOND};
 use crate::attempts::{self, Out};
 use crankpaddle_api::describe::Fleet;
 use crankpaddle_front::{
-    AttemptId, Input, Listing, Order, Outcome, RosterKind, ServerId, SetUp, Stage,
+    AttemptId, AttemptOutcome, Endpoint, EndpointListKind, Input, RecoveryStage, ServerId,
+    SetUpOrder, SetUpResult,
 };
 use crankpaddle_net::clock;
-use crankpaddle_recovery::intents::Came;
-use crankpaddle_recovery::settle::Held;
-use crankpaddle_recovery::{Key, Ledger, Settling, Write};
-use crankpaddle_store::{Order as ToDisk, Writer};
+use crankpaddle_recovery::intents::AttemptResult;
+use crankpaddle_recovery::reconciliation::InventorySession;
+use crankpaddle_recovery::{IntentLedger, Key, Reconciliation, StoreWrite};
+use crankpaddle_store::{StoreWriter, WriteRequest as ToDisk};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -27,15 +28,15 @@
 }
 
 pub(super) struct Paid {
-    pub(super) ledger: Ledger,
-    pub(super) writer: Option<Writer>, // None: the disk failed at the start.
-    pub(super) settling: Settling,
+    pub(super) ledger: IntentLedger,
+    pub(super) writer: Option<StoreWriter>, // None: the disk failed at the start.
+    pub(super) settling: Reconciliation,
     pub(super) began: u64,
     pub(super) ran: u64, // Of former lives, milliseconds.
     pub(super) pending: HashMap<AttemptId, Pending>,
-    pub(super) rosters: Vec<(RosterKind, Vec<Listing>)>, // Heard before all was settled.
-    pub(super) finds: Vec<(ServerId, Held)>,
-    pub(super) finding: HashMap<u64, (ServerId, Held)>,
+    pub(super) rosters: Vec<(EndpointListKind, Vec<Endpoint>)>, // Heard before all was settled.
+    pub(super) finds: Vec<(ServerId, InventorySession)>,
+    pub(super) finding: HashMap<u64, (ServerId, InventorySession)>,
     pub(super) found: u64,
     pub(super) starts: BTreeMap<ServerId, u64>, // By servers' own word.
     pub(super) open: bool,                      // Not settled yet.
@@ -46,10 +47,10 @@
 }
 
 impl Paid {
-    pub(super) fn keep(&self, writes: impl IntoIterator<Item = Write>) {
-        let writes: Vec<Write> = writes.into_iter().collect();
+    pub(super) fn keep(&self, writes: impl IntoIterator<Item = StoreWrite>) {
+        let writes: Vec<StoreWrite> = writes.into_iter().collect();
         if let Some(writer) = self.writer.as_ref().filter(|_| !writes.is_empty()) {
-            writer.order(ToDisk {
+            writer.submit(ToDisk {
                 writes,
                 token: None,
             });
@@ -65,8 +66,11 @@
     pub(super) fn finish(self, in_order: bool) -> Option<std::thread::JoinHandle<()>> {
         let ran = self.ran();
         let writer = self.writer?;
-        let last = [Some(Write::Ran(ran)), in_order.then_some(Write::InOrder)];
-        writer.order(ToDisk {
+        let last = [
+            Some(StoreWrite::Uptime(ran)),
+            in_order.then_some(StoreWrite::CleanShutdown),
+        ];
+        writer.submit(ToDisk {
             writes: last.into_iter().flatten().collect(),
             token: None,
         });
@@ -74,13 +78,13 @@
     }
 }
 
-impl Hub {
+impl EventLoop {
     /// Sends an attempt: at once, or if it is paid, when it is on disk that it may have left.
     pub(super) fn send(
         &mut self,
         attempt: AttemptId,
         server: ServerId,
-        order: &Order,
+        order: &SetUpOrder,
         to: SocketAddr,
         bytes: Vec<u8>,
         out: Arc<Out>,
@@ -91,8 +95,8 @@
             .settings
             .classes
             .get(usize::from(order.class))
-            .map(|c| c.effect);
-        let paid = effect == Some(crankpaddle::Effect::SingleShot);
+            .map(|c| c.idempotency);
+        let paid = effect == Some(crankpaddle::Idempotency::AtMostOnce);
         let Some(kept) = self.paid.as_mut().filter(|_| paid) else {
             return attempts::send(self.shared.clone(), attempt, to, bytes, out);
         };
@@ -110,7 +114,7 @@
             .unwrap_or_default()
             .to_owned();
         let name = self.shared.names.attempt(attempt);
-        let intent = kept.ledger.intend(
+        let intent = kept.ledger.begin_attempt(
             key,
             of(&config.classes, usize::from(order.class)),
             server.0,
@@ -132,11 +136,11 @@
         if !kept
             .writer
             .as_ref()
-            .is_some_and(|writer| writer.order(order))
+            .is_some_and(|writer| writer.submit(order))
         {
             self.shared.tell(crate::shared::Msg::Stored(attempt, false));
         }
-        self.tell_core(Input::KeptBack(attempt, true));
+        self.tell_core(Input::SendDeferred(attempt, true));
     }
 
     /// It is on disk that an attempt may have left, or it can't be written.
@@ -147,7 +151,7 @@
             return;
         }; // It was given up meanwhile.
         if written {
-            self.tell_core(Input::KeptBack(attempt, false));
+            self.tell_core(Input::SendDeferred(attempt, false));
             attempts::send(
                 self.shared.clone(),
                 attempt,
@@ -157,29 +161,30 @@
             );
         } else {
             // Danger: a paid set-up that leaves unwritten is forgotten by a power loss and sold again. It never leaves.
-            self.set_up_came_out(Input::SetUp(
+            self.set_up_came_out(Input::SetUpCompleted(
                 attempt,
-                SetUp::Ended(Outcome::Moot, Vec::new()),
+                SetUpResult::Ended(AttemptOutcome::NotSent, Vec::new()),
             ));
         }
     }
 
     /// An attempt or session of this name came to something.
-    pub(super) fn came_out(&mut self, attempt: AttemptId, name: &str, how: Came) {
+    pub(super) fn came_out(&mut self, attempt: AttemptId, name: &str, how: AttemptResult) {
         let Some(kept) = &mut self.paid else { return };
         // What still waited for the disk has not left, and never will.
         let how = if kept.pending.remove(&attempt).is_some() {
-            Came::NeverRan
+            AttemptResult::NeverRan
         } else {
             how
         };
         let ran = kept.ran();
-        let write = kept.ledger.came_out(name, how, ran);
+        let write = kept.ledger.attempt_ended(name, how, ran);
         kept.keep(write);
     }
 
     pub(super) fn look_at_paid(&mut self) {
-        let wanted = self.core.stage() < Stage::Normal || self.settling(|s| s.open()) > 0;
+        let wanted = self.core.stage() < RecoveryStage::Normal
+            || self.settling(|s| s.unresolved_count()) > 0;
         let out_of_reach: Vec<ServerId> = if wanted {
             self.servers.keys().copied().collect()
         } else {
@@ -193,12 +198,12 @@
         let ran = kept.ran();
         let mut writes = kept.ledger.prune(ran, PRUNED);
         if kept.looks.is_multiple_of(TELL_RAN) {
-            writes.push(Write::Ran(ran));
+            writes.push(StoreWrite::Uptime(ran));
         }
-        let fleet = self.core.siblings();
-        if self.core.stage() == Stage::Normal && fleet != kept.fleet {
+        let fleet = self.core.replica_count();
+        if self.core.stage() == RecoveryStage::Normal && fleet != kept.fleet {
             kept.fleet = fleet;
-            writes.push(Write::Fleet(fleet));
+            writes.push(StoreWrite::FleetSize(fleet));
         }
         kept.keep(writes);
     }
--- a/crates/daemon/src/hub/effects.rs
+++ b/crates/daemon/src/event_loop/effects.rs
@@ -1,24 +1,25 @@
 //! What is to be done, carried out.
-use super::{Hub, Live};
+use super::{EventLoop, Live};
 use crate::attempts::Out;
 use crate::shared::Msg;
 use crankpaddle_front::{
-    Answer, AttemptId, Call, Effect, Input, Notice, Order, PlayerId, RequestId, ServerId, SetUp,
+    Answer, AttemptId, Call, Input, Notification, Output, PlayerId, RequestId, ServerId,
+    SetUpOrder, SetUpResult,
 };
 use crankpaddle_net::clock;
+use crankpaddle_server_protocol::sessions;
 use crankpaddle_session_api::answers;
-use crankpaddle_upstream::sessions;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
-impl Hub {
+impl EventLoop {
     pub(super) fn carry_out(&mut self) {
         let mut effects = std::mem::take(&mut self.effects);
         for effect in effects.drain(..) {
             match effect {
-                Effect::Answer(call, answer) => self.answer(call, &answer),
-                Effect::Notify(player, session, notice) => self.notify(player, session, notice),
-                Effect::SetUp {
+                Output::Answer(call, answer) => self.answer(call, &answer),
+                Output::Notify(player, session, notice) => self.notify(player, session, notice),
+                Output::StartSetUp {
                     attempt,
                     request,
                     number,
@@ -28,10 +29,10 @@
                 } => {
                     self.set_up(attempt, request, number, server, &order);
                 }
-                Effect::Holds { .. } => {} // Nothing is adopted here.
-                Effect::Found { token, attempt, .. } => self.found(token, attempt),
-                Effect::Stage(stage, why) => self.stepped(stage, why),
-                Effect::Abandon(attempt, server) => {
+                Output::SessionAdopted { .. } => {} // Nothing is adopted here.
+                Output::FoundSessionHandled { token, attempt, .. } => self.found(token, attempt),
+                Output::StageReached(stage, why) => self.stepped(stage, why),
+                Output::AbandonAttempt(attempt, server) => {
                     tracing::info!(attempt = attempt.0, server = server.0, "abandoned");
                     if let Some(live) = self.release(attempt, false) {
                         live.out.abandon();
@@ -39,22 +40,24 @@
                         live.link.tear_down(&self.shared, &live.name);
                     }
                 }
-                Effect::SetRung(attempt, server, rung) => {
+                Output::SetRung(attempt, server, rung) => {
                     tracing::info!(attempt = attempt.0, server = server.0, rung, "rung");
-                    self.traffic.desk.rung(attempt.0, rung, clock::now());
+                    self.traffic
+                        .desk
+                        .rung_changed(attempt.0, rung, clock::now());
                     if let Some(live) = self.live.get(&attempt) {
                         live.link.set_rung(&self.shared, &live.name, rung);
                     }
                 }
-                Effect::TearDown(attempt, server) => {
+                Output::TearDown(attempt, server) => {
                     tracing::debug!(attempt = attempt.0, server = server.0, "torn down");
                     if let Some(live) = self.release(attempt, false) {
                         live.link.tear_down(&self.shared, &live.name);
                     }
                 }
                 // The list comes unasked, and servers are not probed: the settings say so.
-                Effect::Probe(_) | Effect::Subscribe | Effect::FetchRoster => {}
-                Effect::Log(line) => tracing::debug!(line, "module"),
+                Output::HealthCheck(_) | Output::SubscribeEndpoints | Output::FetchEndpoints => {}
+                Output::Log(line) => tracing::debug!(line, "module"),
             }
         }
         self.effects = effects;
@@ -63,7 +66,7 @@
     pub(super) fn answer(&mut self, call: Call, answer: &Answer) {
         let (mut media, mut hall) = (String::new(), "");
         match answer {
-            Answer::Plays {
+            Answer::Established {
                 session,
                 attempt,
                 server,
@@ -93,7 +96,7 @@
             }
         }
         if let Some(player) = self.players.get(&call.player) {
-            let session = if let Answer::Plays { session, .. } = answer {
+            let session = if let Answer::Established { session, .. } = answer {
                 Some(*session)
             } else {
                 None
@@ -105,7 +108,7 @@
         }
     }
 
-    pub(super) fn notify(&mut self, player: PlayerId, session: RequestId, notice: Notice) {
+    pub(super) fn notify(&mut self, player: PlayerId, session: RequestId, notice: Notification) {
         tracing::debug!(player = player.0, request = session.0, ?notice, "told");
         if let Some(player) = self.players.get(&player) {
             player.notify(session, answers::notice(session, notice));
@@ -118,7 +121,7 @@
         request: RequestId,
         number: u8,
         server: ServerId,
-        order: &Order,
+        order: &SetUpOrder,
     ) {
         let (id, rung, request) = (server.0, order.rung, request.0);
         tracing::info!(
@@ -132,14 +135,15 @@
         );
         let Some(link) = self.servers.get(&server).and_then(|s| s.link.clone()) else {
             // Listed without an address here: nothing can be sent.
-            let moot = SetUp::Ended(crankpaddle_front::Outcome::Moot, Vec::new());
-            self.shared.tell(Msg::Server(Input::SetUp(attempt, moot)));
+            let moot = SetUpResult::Ended(crankpaddle_front::AttemptOutcome::NotSent, Vec::new());
+            self.shared
+                .tell(Msg::Server(Input::SetUpCompleted(attempt, moot)));
             return;
         };
         let config = &self.shared.config;
         let name = self.shared.names.attempt(attempt);
         let of_names = |names: &[String], n: usize| names.get(n).cloned().unwrap_or_default();
-        let body = sessions::Order {
+        let body = sessions::SetUpBody {
             front: self.shared.names.front().to_owned(),
             bill: order.key.clone(),
             title: self.titles.get(&order.title).cloned().unwrap_or_default(),
--- a/crates/daemon/src/hub/keeping.rs
+++ b/crates/daemon/src/event_loop/maintenance.rs
@@ -1,10 +1,10 @@
 //! Upkeep, and the end.
-use super::{Hub, LAST_WORDS};
+use super::{EventLoop, LAST_WORDS};
 use crankpaddle_front::{AttemptId, Input};
 use crankpaddle_net::clock;
 use std::sync::atomic::Ordering;
 
-impl Hub {
+impl EventLoop {
     pub(super) fn keep_house(&mut self) {
         let now = clock::now();
         let rest = self.shared.limits().pool_idle;
@@ -22,16 +22,16 @@
         for (lowered, sessions) in [(true, &orders.lower), (false, &orders.restore)] {
             for session in sessions {
                 tracing::info!(attempt = session, lowered, "for the budget between halls");
-                self.tell_core(Input::Lowered(AttemptId(*session), lowered));
+                self.tell_core(Input::RateCapped(AttemptId(*session), lowered));
             }
         }
         self.tell_crossing();
-        let wanted = self.traffic.desk.listens(now);
+        let wanted = self.traffic.desk.zones_observed(now);
         for (id, state) in &self.servers {
             if let Some(link) = &state.link {
                 link.want(
                     &self.shared,
-                    self.list_lost || self.traffic.desk.is_in(id.0, &wanted),
+                    self.list_lost || self.traffic.desk.is_in_zones(id.0, &wanted),
                 );
             }
         }
@@ -41,9 +41,9 @@
 
     /// Tells the core how classes may leave for other zones, where that changed.
     pub(super) fn tell_crossing(&mut self) {
-        for (zone, class, leave) in self.traffic.desk.changes(clock::now()) {
+        for (zone, class, leave) in self.traffic.desk.policy_changes(clock::now()) {
             tracing::info!(zone, class, ?leave, "budget between halls");
-            self.tell_core(Input::Crossing { zone, class, leave });
+            self.tell_core(Input::CrossZonePolicyChanged { zone, class, leave });
         }
     }
 
--- a/crates/daemon/src/hub/mod.rs
+++ b/crates/daemon/src/event_loop/mod.rs
@@ -1,28 +1,28 @@
 //! The one place where things are decided: it owns the core, hears everything in one order, and has effects carried
 //! out. It never waits for a socket.
+mod durable_setup;
 mod effects;
-mod former;
-mod keeping;
-mod paid;
+mod maintenance;
+mod previous_incarnation;
 mod servers;
-mod told;
+mod status;
 
 use crate::attempts::Out;
-use crate::contact::Contact;
-use crate::keeper::Keeper;
-use crate::kept::Kept;
 use crate::links::Link;
+use crate::persistence_thread::Keeper;
 use crate::player::Player;
+use crate::recovered_state::Kept;
+use crate::server_connection_state::Contact;
 use crate::shared::{Msg, Shared};
 use crate::traffic::Traffic;
+use crankpaddle_cross_zone_traffic::report::TrafficReport;
 use crankpaddle_front::{
-    AttemptId, Core, Effect, Input, Note, PlayerId, RosterKind, ServerId, Time,
+    AttemptId, Core, EndpointListKind, Input, Output, PlayerId, ServerId, SessionUpdate, Time,
 };
-use crankpaddle_net::{catch_up, clock, recv_until, take};
-use crankpaddle_traffic::report::Report;
-use crankpaddle_upstream::list::Held;
+use crankpaddle_net::{clock, drain_after_stall, drain_queue, recv_until};
+use crankpaddle_server_protocol::list::CachedEndpoints;
+use durable_setup::Paid;
 use may::sync::mpsc::Receiver;
-use paid::Paid;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::RecvTimeoutError;
@@ -51,7 +51,7 @@
     contact: Contact,
 }
 
-pub(crate) struct Hub {
+pub(crate) struct EventLoop {
     shared: Arc<Shared>,
     core: Core,
     players: HashMap<PlayerId, Arc<Player>>,
@@ -59,24 +59,24 @@
     names: HashMap<String, AttemptId>,
     servers: BTreeMap<ServerId, ServerState>,
     titles: HashMap<u64, String>,
-    held: Held,
+    held: CachedEndpoints,
     list_lost: bool, // Nobody tells of servers that start.
     cache: Keeper,
     traffic: Traffic,
     account: Keeper,
     paid: Option<Paid>, // Where a store is configured.
-    effects: Vec<Effect>,
+    effects: Vec<Output>,
     drain_by: Option<u64>,
     end_by: Option<u64>,
 }
 
-impl Hub {
+impl EventLoop {
     pub(crate) fn new(
         shared: Arc<Shared>,
-        cached: Option<Held>,
-        account: Option<&Report>,
+        cached: Option<CachedEndpoints>,
+        account: Option<&TrafficReport>,
         kept: Option<Kept>,
-    ) -> Hub {
+    ) -> EventLoop {
         let config = &shared.config;
         let seed = config.seed.unwrap_or_else(rand::random);
         tracing::info!(seed, front = shared.names.front(), "starting");
@@ -93,7 +93,7 @@
             .collect();
         let cache = Keeper::start(config.list_cache.clone(), "the list");
         let accounts = Keeper::start(config.traffic_file.clone(), "the account of traffic");
-        let mut hub = Hub {
+        let mut hub = EventLoop {
             core,
             players: HashMap::new(),
             live: HashMap::new(),
@@ -114,7 +114,7 @@
         kept.into_iter().for_each(|kept| hub.begin(kept));
         if !hub.held.is_empty() {
             let listings = hub.listings(hub.held.servers());
-            hub.roster(RosterKind::Cached, listings);
+            hub.roster(EndpointListKind::Cached, listings);
         }
         hub
     }
@@ -145,9 +145,11 @@
                 None
             };
             first.into_iter().for_each(|msg| self.hear(msg));
-            take(inbox, BATCH, |msg| self.hear(msg));
+            drain_queue(inbox, BATCH, |msg| self.hear(msg));
             let due = self.core.next_expiry().map_or(u64::MAX, |t| t.0);
-            if catch_up(due, || take(inbox, BATCH, |msg| self.hear(msg)) == BATCH) {
+            if drain_after_stall(due, || {
+                drain_queue(inbox, BATCH, |msg| self.hear(msg)) == BATCH
+            }) {
                 tracing::warn!("stood still");
             }
             if clock::now() >= house {
@@ -181,18 +183,20 @@
             Msg::Player(input) => {
                 self.shared.queued.fetch_sub(1, Ordering::Relaxed);
                 if let Input::Open { open, .. } = &input {
-                    self.traffic.desk.asked(open.class, clock::now());
+                    self.traffic
+                        .desk
+                        .session_requested(open.class, clock::now());
                     self.tell_crossing();
                 }
                 self.tell_core(input);
             }
             Msg::Gone(player) => {
                 self.players.remove(&player);
-                self.tell_core(Input::PlayerGone(player));
+                self.tell_core(Input::PlayerDisconnected(player));
             }
             Msg::Server(input) => self.set_up_came_out(input),
             Msg::Hello(server, hello, begun) => {
-                self.traffic.desk.heard(server.0, clock::now());
+                self.traffic.desk.server_connected(server.0, clock::now());
                 self.lives(server, &hello);
                 let Some(state) = self.servers.get_mut(&server) else {
                     return;
@@ -220,10 +224,12 @@
                 };
                 let server = self.live.get(&attempt).map(|live| live.server);
                 for note in notes {
-                    if let (Some(server), Note::Delivered(share)) = (server, note) {
-                        self.traffic.desk.delivers(server.0, share, clock::now());
+                    if let (Some(server), SessionUpdate::DeliveryRatio(share)) = (server, note) {
+                        self.traffic
+                            .desk
+                            .delivery_reported(server.0, share, clock::now());
                     }
-                    self.tell_core(Input::Note(attempt, note));
+                    self.tell_core(Input::SessionUpdated(attempt, note));
                 }
             }
             Msg::Over(name, outcome, sent) => {
@@ -253,9 +259,9 @@
                 self.tell_crossing();
             }
             Msg::Report(wanted) => drop(wanted.send(self.traffic.report())), // Who asked may be gone.
-            Msg::Broke(server) => self.traffic.desk.lived(server.0, clock::now()),
+            Msg::Broke(server) => self.traffic.desk.server_alive(server.0, clock::now()),
             Msg::Lost(server, begun) => {
-                self.traffic.desk.lost(server.0);
+                self.traffic.desk.server_lost(server.0);
                 // Danger: a server is met milliseconds after its start, by a front that called its stream in vain until then and sleeps
                 // before the next call. Who can't be reached is in no life that is warm, and while nobody else tells, that is told here.
                 // Harm: a server cut off from this front alone is spared when it can be reached again.
@@ -278,13 +284,13 @@
             }
             Msg::ListFailed => {
                 self.list_lost = true;
-                self.roster(RosterKind::Failed, Vec::new());
+                self.roster(EndpointListKind::Failed, Vec::new());
             }
             Msg::Book(server, book) => self.book(server, book),
             Msg::Fenced(server, name, ended) => self.fenced(server, &name, ended),
             Msg::Stored(attempt, written) => self.stored(attempt, written),
             Msg::Fleet(wanted) => drop(wanted.send(self.fleet())), // Who asked may be gone.
-            Msg::Members(known) => self.tell_core(Input::Members(known)),
+            Msg::Members(known) => self.tell_core(Input::FleetSizeChanged(known)),
             Msg::Drain => {
                 if self.drain_by.is_none() {
                     tracing::info!(
@@ -303,7 +309,8 @@
     /// Tells the core. What is owed whatever is decided leaves now; the module decides when all that lies in the queue was
     /// heard, in [`Core::expire`].
     fn tell_core(&mut self, input: Input) {
-        self.core.hear(Time(clock::now()), input, &mut self.effects);
+        self.core
+            .handle_input(Time(clock::now()), input, &mut self.effects);
         self.carry_out();
     }
 }
--- a/crates/daemon/src/books.rs
+++ b/crates/daemon/src/inventory_client.rs
@@ -1,10 +1,10 @@
 //! Servers asked what they hold and ran of this front, each in a coroutine of its own.
 use crate::shared::{Msg, Shared};
 use crankpaddle_front::ServerId;
-use crankpaddle_net::exchange::Wire;
+use crankpaddle_net::exchange::HttpExchange;
 use crankpaddle_net::{clock, spawn, Socket, Stack};
-use crankpaddle_upstream::book::{self, Book};
-use crankpaddle_upstream::sessions;
+use crankpaddle_server_protocol::session_inventory::{self, SessionInventory};
+use crankpaddle_server_protocol::sessions;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -17,15 +17,15 @@
         .config
         .store
         .as_ref()
-        .map_or(0, |store| store.steps.settle);
+        .map_or(0, |store| store.steps.reconciliation_timeout);
     socket.set_expiry(clock::now().saturating_add(within));
     shared.quick.watch(&socket);
     socket.write_all(request).ok()?;
-    let (response, body) = Wire::new(socket).response(MOST).ok()?;
+    let (response, body) = HttpExchange::new(socket).response(MOST).ok()?;
     Some((response.status, body))
 }
 
-fn read(status: u16, body: &[u8], server: ServerId) -> Option<Book> {
+fn read(status: u16, body: &[u8], server: ServerId) -> Option<SessionInventory> {
     if status != 200 {
         tracing::warn!(
             server = server.0,
@@ -34,7 +34,7 @@
         );
         return None;
     }
-    book::read(body)
+    session_inventory::read(body)
         .inspect_err(|e| tracing::warn!(server = server.0, %e, "a server's book is malformed"))
         .ok()
 }
@@ -42,7 +42,7 @@
 /// Asks for the server's book; the hub is told in any case.
 pub(crate) fn ask(shared: Arc<Shared>, server: ServerId, address: SocketAddr) {
     spawn(Stack::Usual, move || {
-        let request = book::ask(&address.to_string(), shared.names.front());
+        let request = session_inventory::request(&address.to_string(), shared.names.front());
         let told = exchange(&shared, &address, &request)
             .and_then(|(status, body)| read(status, &body, server));
         shared.tell(Msg::Book(server, told));
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,20 +16,20 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 mod attempts;
-mod books;
-mod contact;
 mod directory;
 mod errors;
-mod hub;
-mod keeper;
-mod kept;
+mod event_loop;
+mod inventory_client;
 mod links;
 mod names;
 mod peers;
+mod persistence_thread;
 mod player;
 mod players;
 mod pool;
+mod recovered_state;
 mod secret;
+mod server_connection_state;
 mod shared;
 mod traffic;
 
@@ -57,7 +57,11 @@
     /// Its address can't be listened on, or what it kept on disk can't be used.
     pub fn start(config: Config) -> Result<Daemon, StartError> {
         // Before it listens: what was kept is read whole before anyone is answered.
-        let kept = config.store.as_ref().map(kept::open).transpose()?;
+        let kept = config
+            .store
+            .as_ref()
+            .map(recovered_state::open)
+            .transpose()?;
         Daemon::begin(config, kept)
     }
 
@@ -67,17 +71,17 @@
     /// As [`Daemon::start`].
     pub fn start_on(
         config: Config,
-        store: impl FnOnce(&str) -> Result<crankpaddle_store::Taken, crankpaddle_store::Error>,
+        store: impl FnOnce(&str) -> Result<crankpaddle_store::OpenedStore, crankpaddle_store::Error>,
     ) -> Result<Daemon, StartError> {
         let kept = config
             .store
             .as_ref()
-            .map(|wanted| kept::open_on(wanted, store))
+            .map(|wanted| recovered_state::open_on(wanted, store))
             .transpose()?;
         Daemon::begin(config, kept)
     }
 
-    fn begin(config: Config, kept: Option<kept::Kept>) -> Result<Daemon, StartError> {
+    fn begin(config: Config, kept: Option<recovered_state::Kept>) -> Result<Daemon, StartError> {
         let wanted = config.listen;
         let not_listening = |source| StartError::Listen {
             address: wanted,
@@ -97,7 +101,7 @@
         }
         let (finished, done) = mpsc::channel();
         let stopped = Arc::new(AtomicBool::new(false));
-        let hub = hub::Hub::new(shared.clone(), cached, account.as_ref(), kept);
+        let hub = event_loop::EventLoop::new(shared.clone(), cached, account.as_ref(), kept);
         spawn(Stack::Large, move || {
             let writers = hub.run(&inbox);
             let _ = finished.send(writers); // Nobody may wait.
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -1,11 +1,11 @@
 //! What a front keeps for each server: the stream of its notes, and the queue of what its sessions are told.
-use crate::contact::{Miss, Reach};
+use crate::server_connection_state::{Miss, Reach};
 use crate::shared::{Msg, Shared};
 use crankpaddle_front::ServerId;
-use crankpaddle_net::exchange::{Events, Fault, Wire};
+use crankpaddle_net::exchange::{Events, ExchangeError, HttpExchange};
 use crankpaddle_net::{clock, sleep, spawn, Socket, Stack};
-use crankpaddle_upstream::notes::{self, Said};
-use crankpaddle_upstream::sessions;
+use crankpaddle_server_protocol::event_stream::{self, ServerEvent};
+use crankpaddle_server_protocol::sessions;
 use may::sync::mpsc;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -119,7 +119,7 @@
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner)
                 .upgrade();
-            stream.inspect(|s| s.shut());
+            stream.inspect(|s| s.close());
         }
     }
 
@@ -163,9 +163,9 @@
         socket.set_expiry(clock::now().saturating_add(silence));
         shared.quick.watch(&socket);
         *self.stream.lock().unwrap_or_else(PoisonError::into_inner) = Arc::downgrade(&socket);
-        let request = notes::subscribe(&self.address.to_string(), shared.names.front());
+        let request = event_stream::subscribe(&self.address.to_string(), shared.names.front());
         socket.write_all(&request).map_err(|_| Miss::Silent)?;
-        let mut wire = Wire::new(socket);
+        let mut wire = HttpExchange::new(socket);
         let head = wire.response_head().map_err(|_| Miss::Silent)?;
         if head.status != 200 {
             return Err(Miss::Silent);
@@ -177,24 +177,28 @@
         let mut spoke = false;
         loop {
             match events.next() {
-                Ok(event) => match notes::read(&event) {
-                    Ok(Some(Said::Hello(hello))) => {
+                Ok(event) => match event_stream::read(&event) {
+                    Ok(Some(ServerEvent::Hello(hello))) => {
                         shared.tell(Msg::Hello(self.id, hello, begun));
                         reach.heard(clock::now());
                         spoke = true;
                     }
-                    Ok(Some(Said::Notes(name, notes))) => shared.tell(Msg::Notes(name, notes)),
-                    Ok(Some(Said::Over(name, outcome, sent))) => {
+                    Ok(Some(ServerEvent::Notes(name, notes))) => {
+                        shared.tell(Msg::Notes(name, notes));
+                    }
+                    Ok(Some(ServerEvent::Over(name, outcome, sent))) => {
                         shared.tell(Msg::Over(name, outcome, sent));
                     }
-                    Ok(Some(Said::Traffic(traffic))) => shared.tell(Msg::Traffic(self.id, traffic)),
+                    Ok(Some(ServerEvent::Traffic(traffic))) => {
+                        shared.tell(Msg::Traffic(self.id, traffic));
+                    }
                     Ok(None) => {}
                     Err(what) => {
                         tracing::warn!(server = self.id.0, %what, "a server's stream is malformed");
                     }
                 },
                 Err(fault) => {
-                    if let Fault::Bad(bad) = &fault {
+                    if let ExchangeError::Bad(bad) = &fault {
                         tracing::warn!(server = self.id.0, %bad, "a server's stream is malformed");
                     }
                     let stream = self
@@ -202,7 +206,7 @@
                         .lock()
                         .unwrap_or_else(PoisonError::into_inner)
                         .upgrade();
-                    if spoke && stream.is_some_and(|s| !s.is_shut()) {
+                    if spoke && stream.is_some_and(|s| !s.is_closed()) {
                         shared.tell(Msg::Broke(self.id));
                     }
                     return if spoke { Miss::Broke } else { Miss::Silent };
@@ -240,7 +244,7 @@
     };
     socket.set_expiry(clock::now().saturating_add(CONTROL));
     socket.write_all(&bytes).ok()?;
-    let mut wire = Wire::new(socket.clone());
+    let mut wire = HttpExchange::new(socket.clone());
     let (response, body) = wire.response(MOST_ANSWER).ok()?;
     if let Control::TearDown(name) = control {
         let last = sessions::tear_down_answer(&response, &body);
--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/names.rs
@@ -1,10 +1,10 @@
 //! Names of sessions at servers and on the players' wire.
 use crankpaddle_config::Config;
-use crankpaddle_front::{AttemptId, Open};
+use crankpaddle_front::{AttemptId, OpenRequest};
+use crankpaddle_server_protocol::sessions;
 use crankpaddle_session_api::jsonrpc::{Error, INVALID_PARAMS};
 use crankpaddle_session_api::messages::{Named, UnknownName};
 use crankpaddle_session_api::methods;
-use crankpaddle_upstream::sessions;
 use std::hash::{BuildHasher, DefaultHasher, Hash, Hasher, RandomState};
 
 /// Names attempts so that nobody who knows one can guess another: with a session's name its media can be fetched.
@@ -67,7 +67,7 @@
 }
 
 /// A request in the core's terms.
-pub(crate) fn open(config: &Config, open: methods::Open) -> Result<Open, Error> {
+pub(crate) fn open(config: &Config, open: methods::Open) -> Result<OpenRequest, Error> {
     let title = config
         .titles
         .get(&open.title)
@@ -78,18 +78,18 @@
     let mut hasher = DefaultHasher::new(); // Not keyed: the same viewer is the same number at every front.
     viewer.hash(&mut hasher);
     let milliseconds = |ms: u64| ms.saturating_mul(1_000_000);
-    Ok(Open {
+    Ok(OpenRequest {
         tenant: tenant(config, open.tenant.as_deref())?,
         viewer: hasher.finish(),
         class: class as u8,
         title: title.number,
         first_cell: title.first_cell,
-        copies: title.copies,
-        top: open.top.unwrap_or(u8::MAX),
-        give_up: open.give_up_ms.map_or(u64::MAX, milliseconds),
-        hint: open.hint_ms.map(milliseconds),
-        again: open.again,
-        moved: false, // The core knows by the key.
+        cell_count: title.copies,
+        max_rung: open.top.unwrap_or(u8::MAX),
+        max_wait: open.give_up_ms.map_or(u64::MAX, milliseconds),
+        duration_hint: open.hint_ms.map(milliseconds),
+        is_retry: open.again,
+        is_migration: false, // The core knows by the key.
         // Neither the core nor a disk needs what the player alone may know.
         key: sessions::bill(&open.key),
     })
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -6,8 +6,10 @@
 use crate::secret;
 use crankpaddle_api::describe::{Members, OwnStanding, Peer, PeerState, PeerTurn};
 use crankpaddle_config::Peers as Wanted;
-use crankpaddle_membership::{Change, Output, Peers, Settings, Standing, State};
-use crankpaddle_net::{clock, recv_until, spawn, take, Stack};
+use crankpaddle_membership::{
+    LocalHealth, MemberChange, MemberState, Membership, MembershipConfig, Output,
+};
+use crankpaddle_net::{clock, drain_queue, recv_until, spawn, Stack};
 use may::net::UdpSocket;
 use may::sync::mpsc::{channel, Receiver, Sender};
 use std::collections::{HashMap, VecDeque};
@@ -55,7 +57,7 @@
 
 /// A front's part in the fleet, before it runs.
 pub(crate) struct Opened {
-    settings: Settings,
+    settings: MembershipConfig,
     socket: Arc<UdpSocket>,
     ways: HashMap<String, SocketAddr>,
     tell: Sender<Word>,
@@ -79,18 +81,18 @@
     let epoch = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or(Duration::ZERO);
-    let settings = Settings {
+    let settings = MembershipConfig {
         name: wanted.name.clone(),
         address: own.to_string(),
         epoch: epoch.as_millis() as u64,
-        life: rand::random(),
+        incarnation: rand::random(),
         key,
         seeds: wanted.seeds.iter().map(SocketAddr::to_string).collect(),
-        probe_every: wanted.probe_every,
-        answer_within: wanted.probe_every * 2 / 5,
+        probe_interval: wanted.probe_every,
+        probe_timeout: wanted.probe_every * 2 / 5,
         datagrams: f64::from(wanted.datagrams),
         bytes: wanted.bytes as f64,
-        ..Settings::default()
+        ..MembershipConfig::default()
     };
     tracing::info!(name = wanted.name, address = %own, seeds = ?settings.seeds, "peers");
     let (tell, inbox) = channel();
@@ -119,7 +121,7 @@
         } = self;
         let reads = socket.clone();
         spawn(Stack::Usual, move || read(&reads, &tell));
-        let peers = Peers::new(settings, rand::random(), clock::now());
+        let peers = Membership::new(settings, rand::random(), clock::now());
         let (out, turns, known) = (Vec::new(), VecDeque::new(), Box::new(known));
         let rim = Rim {
             peers,
@@ -151,30 +153,30 @@
 }
 
 struct Rim {
-    peers: Peers,
+    peers: Membership,
     socket: Arc<UdpSocket>,
     ways: HashMap<String, SocketAddr>,
     out: Vec<Output>,
-    turns: VecDeque<(u64, Change)>,
+    turns: VecDeque<(u64, MemberChange)>,
     turned: u64,
     known: Box<dyn Fn(u32) + Send>,
     counted: u32,
 }
 
 /// A state as it is told.
-fn told(state: State) -> PeerState {
+fn told(state: MemberState) -> PeerState {
     match state {
-        State::Alive => PeerState::Alive,
-        State::Suspect => PeerState::Suspect,
-        State::Gone => PeerState::Gone,
-        State::Left => PeerState::Left,
+        MemberState::Alive => PeerState::Alive,
+        MemberState::Suspect => PeerState::Suspect,
+        MemberState::Gone => PeerState::Gone,
+        MemberState::Left => PeerState::Left,
     }
 }
 
 impl Rim {
     fn run(mut self, inbox: &Receiver<Word>) {
         loop {
-            let (now, due) = (clock::now(), self.peers.next());
+            let (now, due) = (clock::now(), self.peers.next_expiry());
             if due > now {
                 match recv_until(inbox, due) {
                     Ok(word) => {
@@ -187,7 +189,7 @@
                 }
             }
             let mut words = Vec::new();
-            take(inbox, BATCH, |word| words.push(word));
+            drain_queue(inbox, BATCH, |word| words.push(word));
             if words.into_iter().any(|word| self.word(word)) {
                 return;
             }
@@ -201,7 +203,7 @@
         match word {
             Word::Heard(from, bytes) => {
                 self.peers
-                    .hear(clock::now(), &from.to_string(), &bytes, &mut self.out);
+                    .receive(clock::now(), &from.to_string(), &bytes, &mut self.out);
                 self.carry_out();
                 false
             }
@@ -229,7 +231,7 @@
             rtt_us: m.rtt.map(|rtt| rtt / 1000),
         };
         let first = self.turned + 1 - self.turns.len() as u64;
-        let turn = |((at, c), number): (&(u64, Change), u64)| PeerTurn {
+        let turn = |((at, c), number): (&(u64, MemberChange), u64)| PeerTurn {
             number,
             ago_ms: now.saturating_sub(*at) / 1_000_000,
             name: c.name.clone(),
@@ -240,12 +242,12 @@
         Members {
             name: self.peers.name().to_owned(),
             address: self.peers.address().to_owned(),
-            standing: match self.peers.standing() {
-                Standing::Alone => OwnStanding::Alone,
-                Standing::Connected => OwnStanding::Connected,
-                Standing::Doubtful => OwnStanding::Doubtful,
-                Standing::CutOff => OwnStanding::CutOff,
-                Standing::Replaced => OwnStanding::Replaced,
+            standing: match self.peers.local_health() {
+                LocalHealth::Alone => OwnStanding::Alone,
+                LocalHealth::Connected => OwnStanding::Connected,
+                LocalHealth::Degraded => OwnStanding::Doubtful,
+                LocalHealth::Isolated => OwnStanding::CutOff,
+                LocalHealth::Replaced => OwnStanding::Replaced,
             },
             members: self.peers.members().into_iter().map(peer).collect(),
             sent: counters.sent.0,
@@ -279,12 +281,12 @@
                         let _ = self.socket.inner().send_to(&bytes, way);
                     }
                 }
-                Output::Change(c) => {
+                Output::MemberChanged(c) => {
                     match c.state {
-                        State::Alive | State::Left => {
+                        MemberState::Alive | MemberState::Left => {
                             tracing::info!(member = c.name, state = ?c.state, by = c.by, restarted = c.restarted, "member");
                         }
-                        State::Suspect | State::Gone => {
+                        MemberState::Suspect | MemberState::Gone => {
                             tracing::warn!(member = c.name, state = ?c.state, by = c.by, "member");
                         }
                     }
@@ -294,15 +296,15 @@
                     }
                     self.turns.push_back((clock::now(), c));
                 }
-                Output::Standing(Standing::Replaced) => {
+                Output::LocalHealthChanged(LocalHealth::Replaced) => {
                     tracing::error!(
                         "another process has this front's name among its peers; it is silent from now on"
                     );
                 }
-                Output::Standing(standing) => tracing::info!(?standing, "own standing"),
+                Output::LocalHealthChanged(standing) => tracing::info!(?standing, "own standing"),
             }
         }
-        let counted = self.peers.reckoned() + 1;
+        let counted = self.peers.estimated_fleet_size() + 1;
         if counted != self.counted {
             self.counted = counted;
             (self.known)(counted);
--- a/crates/daemon/src/player.rs
+++ b/crates/daemon/src/player.rs
@@ -1,6 +1,6 @@
 //! A player's connection as the hub and the coroutine that reads it see it: what waits for an answer, and what is sent.
 use crankpaddle_front::{PlayerId, RequestId};
-use crankpaddle_net::{clock, Outbox};
+use crankpaddle_net::{clock, WriteBuffer};
 use crankpaddle_session_api::calls::Calls;
 use crankpaddle_session_api::jsonrpc::Id;
 use crankpaddle_session_api::Version;
@@ -18,7 +18,7 @@
 pub(crate) struct Player {
     pub id: PlayerId,
     pub version: Version,
-    pub outbox: Outbox,
+    pub outbox: WriteBuffer,
     pub calls: Mutex<Calls>,
     pub heard: AtomicU64,
     pub pinged: AtomicU64, // When, if it said nothing since; else 0.
--- a/crates/daemon/src/players.rs
+++ b/crates/daemon/src/players.rs
@@ -6,8 +6,8 @@
 use crankpaddle_front::{Call, Input, PlayerId, RequestId, Time};
 use crankpaddle_http::head::{self, Request};
 use crankpaddle_http::problem::Problem;
-use crankpaddle_net::exchange::{Fault, Wire};
-use crankpaddle_net::{clock, recv_until, sleep, spawn, Outbox, Socket, Stack};
+use crankpaddle_net::exchange::{ExchangeError, HttpExchange};
+use crankpaddle_net::{clock, recv_until, sleep, spawn, Socket, Stack, WriteBuffer};
 use crankpaddle_session_api::jsonrpc::{self, Error, Message as Rpc};
 use crankpaddle_session_api::methods::{session_number, Method};
 use crankpaddle_session_api::Version;
@@ -45,7 +45,7 @@
                         player.pinged.store(now, Ordering::Relaxed);
                         player.push(Frame::ping(Vec::new()));
                     }
-                    Silence::Cut => player.outbox.socket().shut(),
+                    Silence::Cut => player.outbox.socket().close(),
                     Silence::Bear => {}
                 }
                 true
@@ -66,7 +66,7 @@
     let _counted = Counted::new(shared.clone());
     let limits = shared.limits();
     if shared.connections.load(Ordering::Relaxed) > limits.connections {
-        let advice = shared.config.settings.stay_away_cap / 1_000_000;
+        let advice = shared.config.settings.max_retry_after / 1_000_000;
         let mut problem = Problem::of(503, "the front has as many connections as it may");
         problem.retry_after_ms = Some(advice);
         let _ = socket.try_write(&problem.response(&[("connection", "close")])); // It goes at once or not at all.
@@ -74,11 +74,11 @@
     }
     socket.set_expiry(clock::now().saturating_add(limits.handshake));
     shared.slow.watch(&socket);
-    let mut wire = Wire::new(socket.clone());
+    let mut wire = HttpExchange::new(socket.clone());
     loop {
         let request = match wire.request(MOST_BODY, limits.handshake) {
             Ok((request, _)) => request,
-            Err(Fault::Bad(bad)) => {
+            Err(ExchangeError::Bad(bad)) => {
                 let problem =
                     Problem::of(bad.status, bad.what).response(&[("connection", "close")]);
                 let _ = socket.write_all(&problem); // Broken: it is over all the same.
@@ -336,7 +336,7 @@
     let player = Arc::new(Player {
         id: PlayerId(NEXT.fetch_add(1, Ordering::Relaxed)),
         version,
-        outbox: Outbox::new(socket.clone(), limits.unread),
+        outbox: WriteBuffer::new(socket.clone(), limits.unread),
         calls: Mutex::default(),
         heard: AtomicU64::new(clock::now()),
         pinged: AtomicU64::new(0),
@@ -398,7 +398,9 @@
             Err(_) => return None,
         }
         // Back-pressure: while the hub has much unread, nothing more is read here.
-        while shared.queued.load(Ordering::Relaxed) > shared.config.terms.open.saturating_mul(2) {
+        while shared.queued.load(Ordering::Relaxed)
+            > shared.config.terms.max_pending.saturating_mul(2)
+        {
             sleep(Duration::from_millis(1));
         }
     }
@@ -421,7 +423,7 @@
             Input::Resume {
                 call,
                 tenant,
-                key: crankpaddle_upstream::sessions::bill(&resume.key),
+                key: crankpaddle_server_protocol::sessions::bill(&resume.key),
             }
         }
         Method::Close(close) => {
@@ -483,7 +485,7 @@
     // The answers of a batch go back together, so none may be waited for longer than the most impatient wants.
     let patience = |input: &Input| {
         if let Input::Open { open, .. } = input {
-            open.give_up
+            open.max_wait
         } else {
             u64::MAX
         }
@@ -493,7 +495,7 @@
             let of_class = shared
                 .config
                 .terms
-                .give_up
+                .max_wait
                 .get(usize::from(open.class))
                 .copied();
             patience(input).min(of_class.unwrap_or(u64::MAX))
@@ -503,7 +505,7 @@
     let least = inputs.iter().map(bound).min().unwrap_or(u64::MAX);
     for mut input in inputs {
         if let (true, Input::Open { open, .. }) = (together, &mut input) {
-            open.give_up = open.give_up.min(least);
+            open.max_wait = open.max_wait.min(least);
         }
         shared.tell(Msg::Player(input));
     }
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -29,7 +29,7 @@
         socket.set_expiry(clock::now().saturating_add(for_time));
         let mut idle = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let of_server = idle.entry(address).or_default();
-        of_server.retain(|s| !s.is_shut());
+        of_server.retain(|s| !s.is_closed());
         of_server.push(socket);
     }
 
@@ -37,7 +37,7 @@
     pub(crate) fn prune(&self) {
         let mut idle = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|_, of_server| {
-            of_server.retain(|s| !s.is_shut());
+            of_server.retain(|s| !s.is_closed());
             !of_server.is_empty()
         });
     }
--- a/crates/daemon/src/kept.rs
+++ b/crates/daemon/src/recovered_state.rs
@@ -2,9 +2,9 @@
 use crate::errors::StartError;
 use crate::secret;
 use crankpaddle_config::Store as Wanted;
-use crankpaddle_recovery::{Careful, Ended, Holds, Past};
-use crankpaddle_store::{Error, Store, Taken};
-use crankpaddle_upstream::sessions;
+use crankpaddle_recovery::{ConservativeBound, PreviousShutdown, RecoveredState, StillValid};
+use crankpaddle_server_protocol::sessions;
+use crankpaddle_store::{Error, OpenedStore, Store};
 
 /// A front's past, and where it keeps on.
 pub(crate) struct Kept {
@@ -12,17 +12,17 @@
     pub name: String,
     /// `None`: the disk fails, and nothing can be kept.
     pub store: Option<Store>,
-    pub past: Past,
+    pub past: RecoveredState,
 }
 
 /// A past of which nothing is known.
-fn unknown() -> Past {
-    Past {
-        epoch: Holds(0),
-        intents: Holds(Vec::new()),
-        fleet: Careful::default(),
-        ended: Ended::Unknown,
-        ran: Holds(0),
+fn unknown() -> RecoveredState {
+    RecoveredState {
+        epoch: StillValid(0),
+        intents: StillValid(Vec::new()),
+        fleet_size: ConservativeBound::default(),
+        shutdown: PreviousShutdown::Unknown,
+        uptime_ms: StillValid(0),
     }
 }
 
@@ -38,7 +38,7 @@
 /// The same, on what `store` makes of the host's boot.
 pub(crate) fn open_on(
     wanted: &Wanted,
-    store: impl FnOnce(&str) -> Result<Taken, Error>,
+    store: impl FnOnce(&str) -> Result<OpenedStore, Error>,
 ) -> Result<Kept, StartError> {
     let key = secret::key(&wanted.key_file)?;
     let name = sessions::front_name(&key, &wanted.name);
@@ -47,17 +47,17 @@
         format!("unknown {:032x}", rand::random::<u128>())
     });
     match store(boot.trim()) {
-        Ok(Taken {
+        Ok(OpenedStore {
             store,
-            past,
-            set_aside,
+            recovered: past,
+            quarantined: set_aside,
         }) => {
             if let Some((path, why)) = set_aside {
                 let help = advice(&why);
                 tracing::error!(path = %path.display(), %why, help, "the store was no store any more; a new one is begun");
             }
             let (epoch, entries) = (past.epoch.0, past.intents.0.len());
-            tracing::info!(name = wanted.name, epoch, entries, former_life = ?past.ended, "store");
+            tracing::info!(name = wanted.name, epoch, entries, former_life = ?past.shutdown, "store");
             Ok(Kept {
                 name,
                 store: Some(store),
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -4,11 +4,13 @@
 use crate::pool::Pool;
 use crankpaddle_api::describe::Fleet;
 use crankpaddle_config::{Config, Limits};
-use crankpaddle_front::{AttemptId, Input, Note, Outcome, PlayerId, RosterKind, ServerId};
-use crankpaddle_net::Sweeper;
-use crankpaddle_upstream::book::Book;
-use crankpaddle_upstream::list::List;
-use crankpaddle_upstream::notes::{Hello, Traffic};
+use crankpaddle_front::{
+    AttemptId, AttemptOutcome, EndpointListKind, Input, PlayerId, ServerId, SessionUpdate,
+};
+use crankpaddle_net::IdleSweeper;
+use crankpaddle_server_protocol::event_stream::{StreamStart, TrafficCounts};
+use crankpaddle_server_protocol::list::EndpointListBody;
+use crankpaddle_server_protocol::session_inventory::SessionInventory;
 use may::sync::mpsc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -25,13 +27,13 @@
     /// A server answered, or did not.
     Server(Input),
     /// A server's stream said its first word; the call for it began at that time.
-    Hello(ServerId, Hello, u64),
+    Hello(ServerId, StreamStart, u64),
     /// A server's stream told of a session, by its name there.
-    Notes(String, Vec<Note>),
+    Notes(String, Vec<SessionUpdate>),
     /// A session is over at its server; with all that was sent for it, where it is counted.
-    Over(String, Outcome, Option<u64>),
+    Over(String, AttemptOutcome, Option<u64>),
     /// A server counted sessions and what crosses.
-    Traffic(ServerId, Traffic),
+    Traffic(ServerId, TrafficCounts),
     /// A server's last word on a session that was torn down: all that it sent.
     Sent(String, u64),
     /// The budgets of this configuration hold from now on.
@@ -43,11 +45,11 @@
     /// A server can't be reached any more; so it was when the call began at that time.
     Lost(ServerId, u64),
     /// The list service said this.
-    List(RosterKind, List),
+    List(EndpointListKind, EndpointListBody),
     /// The list service can't be reached.
     ListFailed,
     /// A server told what it holds and ran of this front, or can't be asked.
-    Book(ServerId, Option<Book>),
+    Book(ServerId, Option<SessionInventory>),
     /// An attempt of a former life was ended at a server, so that it can't run any more; or that is not certain.
     Fenced(ServerId, String, bool),
     /// It is on disk that an attempt may have left, or can't be written.
@@ -67,9 +69,9 @@
     pub names: Names,
     pub pool: Pool,
     /// Looks often: attempts and streams.
-    pub quick: Sweeper,
+    pub quick: IdleSweeper,
     /// Looks seldom: players.
-    pub slow: Sweeper,
+    pub slow: IdleSweeper,
     pub connections: AtomicUsize,
     pub players: std::sync::Mutex<Vec<std::sync::Weak<Player>>>,
     /// Inputs of players that the hub has not seen yet.
@@ -93,8 +95,8 @@
             peers,
             names: Names::new(name),
             pool: Pool::default(),
-            quick: Sweeper::start(Duration::from_millis(50)),
-            slow: Sweeper::start(Duration::from_millis(500)),
+            quick: IdleSweeper::start(Duration::from_millis(50)),
+            slow: IdleSweeper::start(Duration::from_millis(500)),
             connections: AtomicUsize::new(0),
             players: std::sync::Mutex::default(),
             queued: AtomicUsize::new(0),
--- a/crates/daemon/src/traffic.rs
+++ b/crates/daemon/src/traffic.rs
@@ -1,12 +1,14 @@
 //! The traffic desk of a front: from the configuration's names to numbers and back, and its file.
-use crankpaddle::Effect;
+use crankpaddle::Idempotency;
 use crankpaddle_config::Config;
-use crankpaddle_front::{AttemptId, Order, ServerId};
+use crankpaddle_cross_zone_traffic::budget::FrontPosition;
+use crankpaddle_cross_zone_traffic::report::{TrafficNames, TrafficReport};
+use crankpaddle_cross_zone_traffic::traffic_controller::{
+    AttemptUsage, TrafficClass, TrafficConfig, TrafficController,
+};
+use crankpaddle_front::{AttemptId, ServerId, SetUpOrder};
 use crankpaddle_net::clock;
-use crankpaddle_traffic::budget::Place;
-use crankpaddle_traffic::desk::{Attempt, Class, Desk, Terms};
-use crankpaddle_traffic::report::{Names, Report};
-use crankpaddle_upstream::notes;
+use crankpaddle_server_protocol::event_stream;
 use std::collections::BTreeMap;
 use std::{fs, io};
 
@@ -14,16 +16,16 @@
 const STEP: usize = 512;
 
 pub(crate) struct Traffic {
-    pub desk: Desk,
-    names: Names,
+    pub desk: TrafficController,
+    names: TrafficNames,
     front: u32,
     zone: u8,
     groups: BTreeMap<u64, u16>, // By title.
     settling: bool,
 }
 
-fn names(config: &Config) -> Names {
-    Names {
+fn names(config: &Config) -> TrafficNames {
+    TrafficNames {
         zones: config.zones.clone(),
         classes: config.classes.clone(),
         tenants: config.tenants.clone(),
@@ -31,28 +33,28 @@
     }
 }
 
-fn terms(config: &Config) -> Terms {
+fn terms(config: &Config) -> TrafficConfig {
     let s = &config.settings;
-    let class = |c: &crankpaddle::Class| Class {
-        paid: c.effect == Effect::SingleShot,
+    let class = |c: &crankpaddle::Class| TrafficClass {
+        paid: c.idempotency == Idempotency::AtMostOnce,
         kb: s.rung_kb.iter().map(|kb| kb * c.rate_factor).collect(),
     };
-    Terms {
-        place: Place {
-            index: s.index,
-            siblings: s.siblings,
+    TrafficConfig {
+        place: FrontPosition {
+            index: s.front_index,
+            siblings: s.replica_count,
         },
         zone: s.zone,
         classes: s.classes.iter().map(class).collect(),
         limits: config.budgets.clone(),
-        note_delay: s.note_delay,
+        note_delay: s.update_delay,
     }
 }
 
 /// What keeps the budgets of another configuration from being taken over while the front runs.
 pub(crate) fn unlike(old: &Config, new: &Config) -> Option<&'static str> {
     let (before, after) = (terms(old), terms(new));
-    let without = |t: &Terms| Terms {
+    let without = |t: &TrafficConfig| TrafficConfig {
         limits: Vec::new(),
         ..t.clone()
     };
@@ -73,7 +75,7 @@
 ///
 /// # Errors
 /// The file is there and can't be read, or holds something else: an account that would begin at nothing unseen.
-pub(crate) fn kept(config: &Config) -> io::Result<Option<Report>> {
+pub(crate) fn kept(config: &Config) -> io::Result<Option<TrafficReport>> {
     let Some(path) = &config.traffic_file else {
         return Ok(None);
     };
@@ -83,9 +85,9 @@
         Err(e) => return Err(wrong(e.to_string())),
         Ok(text) => text,
     };
-    let report: Report =
+    let report: TrafficReport =
         serde_json::from_str(&text).map_err(|e| wrong(format!("no account of traffic: {e}")))?;
-    if report.front != config.settings.index {
+    if report.front != config.settings.front_index {
         return Err(wrong(format!(
             "is the account of front {}, not of this one",
             report.front
@@ -95,17 +97,17 @@
 }
 
 impl Traffic {
-    pub(crate) fn new(config: &Config, kept: Option<&Report>) -> Traffic {
-        let (mut desk, names) = (Desk::new(terms(config)), names(config));
+    pub(crate) fn new(config: &Config, kept: Option<&TrafficReport>) -> Traffic {
+        let (mut desk, names) = (TrafficController::new(terms(config)), names(config));
         if let Some(report) = kept {
-            desk.restore(&report.kept(&names));
+            desk.restore(&report.saved_flows(&names));
         }
         let groups = config
             .titles
             .values()
             .map(|t| (t.number, t.group))
             .collect();
-        let (front, zone) = (config.settings.index, config.settings.zone);
+        let (front, zone) = (config.settings.front_index, config.settings.zone);
         Traffic {
             desk,
             names,
@@ -125,10 +127,16 @@
         zone.map_or("", String::as_str)
     }
 
-    pub(crate) fn attempt(&mut self, id: AttemptId, number: u8, server: ServerId, order: &Order) {
+    pub(crate) fn attempt(
+        &mut self,
+        id: AttemptId,
+        number: u8,
+        server: ServerId,
+        order: &SetUpOrder,
+    ) {
         let group = self.groups.get(&order.title).copied().unwrap_or(0);
         let (server, class, tenant, rung) = (server.0, order.class, order.tenant, order.rung);
-        self.desk.attempt(Attempt {
+        self.desk.attempt_started(AttemptUsage {
             id: id.0,
             number,
             server,
@@ -144,11 +152,11 @@
         &mut self,
         server: ServerId,
         sent: &[(AttemptId, u64)],
-        crossing: &[notes::Crossing],
+        crossing: &[event_stream::CrossZoneRate],
     ) {
         let now = clock::now();
         sent.iter()
-            .for_each(|(attempt, bytes)| self.desk.counted(attempt.0, *bytes, now));
+            .for_each(|(attempt, bytes)| self.desk.bytes_counted(attempt.0, *bytes, now));
         let own = self.names.zones.get(usize::from(self.zone));
         let mut kb: BTreeMap<u8, f64> = BTreeMap::new();
         for c in crossing
@@ -159,7 +167,7 @@
                 *kb.entry(class as u8).or_default() += c.rate / 1000.0;
             }
         }
-        self.desk.reported(server.0, kb, now);
+        self.desk.usage_reported(server.0, kb, now);
     }
 
     /// Other budgets, and zones that were added; what was counted and is owed stays.
@@ -176,14 +184,14 @@
     /// Settles some; whether there is more to do.
     pub(crate) fn settle_some(&mut self) -> bool {
         if self.settling {
-            self.settling = !self.desk.settle(clock::now(), STEP);
+            self.settling = !self.desk.settle_usage(clock::now(), STEP);
         }
         self.settling
     }
 
     /// The report as JSON.
     pub(crate) fn report(&mut self) -> String {
-        let report = Report::of(
+        let report = TrafficReport::of(
             &mut self.desk,
             self.front,
             self.zone,
--- a/crates/daemon/tests/described.rs
+++ b/crates/daemon/tests/described.rs
@@ -3,9 +3,9 @@
 #![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 mod rig;
 use crankpaddle_api::conform::{Checker, Exception, Exchange};
-use crankpaddle_lab::list_service::{entry, State};
-use crankpaddle_membership::{Output, Peers, Settings};
+use crankpaddle_membership::{Membership, MembershipConfig, Output};
 use crankpaddle_session_api::Version;
+use crankpaddle_testbed::list_service::{entry, EndpointState};
 use rig::{wait, Rig, Stage, FREE, LONG, PAID};
 use serde_json::{json, Value};
 use std::io::{Read, Write};
@@ -314,7 +314,7 @@
             &rig.config,
             id,
             rig.fleet.servers[id as usize].address,
-            State::Gone,
+            EndpointState::Gone,
             0,
         ));
     }
@@ -351,22 +351,22 @@
         .set_read_timeout(Some(Duration::from_millis(5)))
         .unwrap();
     let address = socket.local_addr().unwrap();
-    let settings = Settings {
+    let settings = MembershipConfig {
         name: "played".into(),
         address: address.to_string(),
         epoch: 1,
-        life: 1,
+        incarnation: 1,
         key: 0x0011_2233_4455_6677_8899_aabb_ccdd_eeff_u128.to_be_bytes(),
-        probe_every: 100_000_000,
-        answer_within: 40_000_000,
-        ..Settings::default()
+        probe_interval: 100_000_000,
+        probe_timeout: 40_000_000,
+        ..MembershipConfig::default()
     };
     std::thread::spawn(move || {
-        let (mut peers, begun) = (Peers::new(settings, 1, 0), Instant::now());
+        let (mut peers, begun) = (Membership::new(settings, 1, 0), Instant::now());
         loop {
             let (mut out, mut bytes) = (Vec::new(), [0u8; 2048]);
             if let Ok((n, from)) = socket.recv_from(&mut bytes) {
-                peers.hear(
+                peers.receive(
                     begun.elapsed().as_nanos() as u64,
                     &from.to_string(),
                     &bytes[..n],
--- a/crates/daemon/tests/edges.rs
+++ b/crates/daemon/tests/edges.rs
@@ -2,8 +2,8 @@
 //! sockets, players that never read, and more than the front may take.
 #![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 mod rig;
-use crankpaddle_lab::record::Seen;
-use crankpaddle_session_api::client::{self, Said};
+use crankpaddle_session_api::client::{self, ClientEvent};
+use crankpaddle_testbed::record::Seen;
 use rig::{front, wait, Rig, FREE, LONG, PAID};
 use std::io::{Read, Write};
 use std::time::{Duration, Instant};
@@ -71,7 +71,7 @@
         assert_eq!(closed_with(&rig, &bytes), code, "{what}");
     }
     let (_, said) = other.open_and_wait("unharmed-by-it", FREE);
-    assert!(matches!(said, Said::Plays { .. }), "{said:?}");
+    assert!(matches!(said, ClientEvent::Plays { .. }), "{said:?}");
 }
 
 #[test]
@@ -94,7 +94,7 @@
         player.socket.read().unwrap(),
         Message::Pong("are you there".into())
     );
-    assert_eq!(player.hear(), Said::Unknown { id: 7 });
+    assert_eq!(player.hear(), ClientEvent::Unknown { id: 7 });
     player.socket.close(None).unwrap();
     assert!(matches!(
         player.socket.read(),
@@ -130,7 +130,7 @@
     ] {
         player.say(text);
         assert!(
-            matches!(player.hear(), Said::Error { code: c, .. } if c == code),
+            matches!(player.hear(), ClientEvent::Error { code: c, .. } if c == code),
             "{text}"
         );
     }
@@ -139,7 +139,7 @@
     player.say(r#"{"jsonrpc":"2.0","method":"session.open","params":{"key":"unanswered","title":"clip-01","class":"preview"}}"#);
     player
         .say(r#"{"jsonrpc":"2.0","id":3,"method":"session.resume","params":{"key":"unanswered"}}"#);
-    assert_eq!(player.hear(), Said::Unknown { id: 3 });
+    assert_eq!(player.hear(), ClientEvent::Unknown { id: 3 });
     assert_eq!(rig.of_key("unanswered"), (0, 0));
 }
 
@@ -169,7 +169,9 @@
         .unwrap()
         .iter()
         .map(|said| match said {
-            Said::Plays { id, .. } | Said::Refused { id, .. } | Said::Failed { id, .. } => *id,
+            ClientEvent::Plays { id, .. }
+            | ClientEvent::Refused { id, .. }
+            | ClientEvent::Failed { id, .. } => *id,
             other => panic!("{other:?}"),
         })
         .collect();
@@ -208,12 +210,12 @@
     let answers = client::read(&first).unwrap();
     assert_eq!(answers.len(), 2, "the batch comes first: {first}");
     let session = answers.iter().find_map(|said| match said {
-        Said::Plays { id: 1, session, .. } => Some(session.clone()),
+        ClientEvent::Plays { id: 1, session, .. } => Some(session.clone()),
         _ => None,
     });
     let ended = player.hear();
     assert!(
-        matches!(&ended, Said::End { session: s, .. } if Some(s) == session.as_ref()),
+        matches!(&ended, ClientEvent::End { session: s, .. } if Some(s) == session.as_ref()),
         "{ended:?}"
     );
 }
@@ -233,7 +235,7 @@
         .collect();
     for call in &calls[3..] {
         let said = player.hear();
-        let Said::Refused {
+        let ClientEvent::Refused {
             id,
             reason,
             retry_after_ms,
@@ -246,7 +248,7 @@
     }
     let failed = (0..3)
         .map(|_| player.hear())
-        .filter(|s| matches!(s, Said::Failed { .. }))
+        .filter(|s| matches!(s, ClientEvent::Failed { .. }))
         .count();
     assert_eq!(failed, 3, "the others are answered in their time");
 }
@@ -355,7 +357,7 @@
         lively.socket.flush().unwrap();
     }
     let (_, said) = lively.open_and_wait("still-there", FREE);
-    assert!(matches!(said, Said::Plays { .. }));
+    assert!(matches!(said, ClientEvent::Plays { .. }));
 }
 
 #[test]
@@ -373,7 +375,7 @@
     }
     let mut other = rig.player();
     let (_, said) = other.open_and_wait("heard-all", FREE);
-    assert!(matches!(said, Said::Plays { .. }), "{said:?}");
+    assert!(matches!(said, ClientEvent::Plays { .. }), "{said:?}");
 }
 
 #[test]
@@ -421,12 +423,12 @@
         .unwrap();
     let second = start(&gone);
     let (_, said) = rig::Player::connect(second.address()).open_and_wait("from-the-disk", FREE);
-    assert!(matches!(said, Said::Plays { .. }), "{said:?}");
+    assert!(matches!(said, ClientEvent::Plays { .. }), "{said:?}");
     // A copy that is broken keeps no front from starting.
     std::fs::write(&cache, "{").unwrap();
     let third = start(&gone);
     let (_, said) = rig::Player::connect(third.address()).open_and_wait("without-list", FREE);
-    assert!(matches!(said, Said::Refused { .. }), "{said:?}");
+    assert!(matches!(said, ClientEvent::Refused { .. }), "{said:?}");
     std::fs::remove_dir_all(&dir).unwrap();
 }
 
@@ -435,7 +437,7 @@
     let rig = Rig::new(&[]);
     let mut playing = rig.player();
     let (_, said) = playing.open_and_wait("plays-on", FREE);
-    assert!(matches!(said, Said::Plays { .. }));
+    assert!(matches!(said, ClientEvent::Plays { .. }));
     rig.modes(|m| m.hangs = true);
     let mut waiting = rig.player();
     let call = waiting.open("under-way", PAID);
@@ -444,7 +446,7 @@
     let mut late = rig.player();
     let (_, said) = late.open_and_wait("too-late", FREE);
     assert!(
-        matches!(&said, Said::Refused { reason, .. } if reason == "stopping"),
+        matches!(&said, ClientEvent::Refused { reason, .. } if reason == "stopping"),
         "{said:?}"
     );
     let health = rig.exchange(b"GET /health HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
@@ -454,13 +456,13 @@
     );
     rig.modes(|m| m.hangs = false);
     assert!(
-        matches!(waiting.hear(), Said::Plays { id, .. } if id == call),
+        matches!(waiting.hear(), ClientEvent::Plays { id, .. } if id == call),
         "what was under way is answered"
     );
     for player in [&mut playing, &mut waiting] {
         let said = player.hear();
         assert!(
-            matches!(&said, Said::End { reason, .. } if reason == "stopping"),
+            matches!(&said, ClientEvent::End { reason, .. } if reason == "stopping"),
             "{said:?}"
         );
         assert!(
@@ -496,14 +498,17 @@
     while answers < calls {
         answers += usize::from(matches!(
             player.hear(),
-            Said::Plays { .. } | Said::Refused { .. } | Said::Failed { .. }
+            ClientEvent::Plays { .. } | ClientEvent::Refused { .. } | ClientEvent::Failed { .. }
         ));
     }
     // Each has its turn in time.
     wait("a turn", || {
         let mut player = rig.player();
         let key = format!("later-{}", rig.seen(|_| true));
-        matches!(player.open_and_wait(&key, FREE).1, Said::Plays { .. })
+        matches!(
+            player.open_and_wait(&key, FREE).1,
+            ClientEvent::Plays { .. }
+        )
     });
     assert_eq!(rig.seen(|s| matches!(s, Seen::Fell { .. })), 0);
     assert_eq!(rig.verdict().breaches, []);
--- a/crates/daemon/tests/paid.rs
+++ b/crates/daemon/tests/paid.rs
@@ -1,9 +1,9 @@
 //! Paid set-ups and a disk that is slow, full, or no disk: what leaves, what is said, and what free classes see of it.
 mod rig;
-use crankpaddle_lab::disk::Poor;
-use crankpaddle_lab::record::Seen;
-use crankpaddle_session_api::client::Said;
+use crankpaddle_session_api::client::ClientEvent;
 use crankpaddle_store::Store;
+use crankpaddle_testbed::disk::Poor;
+use crankpaddle_testbed::record::Seen;
 use rig::{wait, Rig, Stage, FREE, PAID};
 use std::io::{Read, Write};
 use std::path::Path;
@@ -25,7 +25,8 @@
     let stage = Stage::new(&[("log {", &config(dir.path(), &dir.path().join("store")))]);
     let disk = disk.clone();
     let daemon =
-        crankpaddle_daemon::Daemon::start_on(stage.front(), |boot| Store::on(disk, boot)).unwrap();
+        crankpaddle_daemon::Daemon::start_on(stage.front(), |boot| Store::open_backend(disk, boot))
+            .unwrap();
     (Rig::of(stage, daemon, ""), dir)
 }
 
@@ -53,7 +54,7 @@
     payer.open("slow-paid", PAID);
     assert!(matches!(
         other.open_and_wait("quick-free", FREE).1,
-        Said::Plays { .. }
+        ClientEvent::Plays { .. }
     ));
     assert_eq!(
         rig.of_key("slow-paid").0,
@@ -61,7 +62,7 @@
         "nothing of it left yet; the free one plays after {:?}",
         asked.elapsed()
     );
-    assert!(matches!(payer.hear(), Said::Plays { .. }));
+    assert!(matches!(payer.hear(), ClientEvent::Plays { .. }));
     assert!(asked.elapsed() >= Duration::from_millis(400));
     assert_eq!(rig.of_key("slow-paid"), (1, 1));
 }
@@ -78,13 +79,13 @@
         asked.elapsed() < Duration::from_millis(1500),
         "its viewer waits 1.5 s"
     );
-    assert!(matches!(said, Said::Refused { .. }), "{said:?}");
+    assert!(matches!(said, ClientEvent::Refused { .. }), "{said:?}");
     // The disk is done with it by then, and it does not leave after all.
     let syncs = disk.syncs.load(Ordering::Acquire);
     wait("the disk", || disk.syncs.load(Ordering::Acquire) > syncs);
     assert!(matches!(
         rig.player().open_and_wait("another-free", FREE).1,
-        Said::Plays { .. }
+        ClientEvent::Plays { .. }
     ));
     assert_eq!(rig.of_key("too-slow"), (0, 0));
 }
@@ -96,12 +97,12 @@
     let mut player = rig.player();
     assert!(matches!(
         player.open_and_wait("before-full", PAID).1,
-        Said::Plays { .. }
+        ClientEvent::Plays { .. }
     ));
     disk.full.store(true, Ordering::Release);
     let (_, said) = player.open_and_wait("while-full", PAID);
     assert!(
-        matches!(said, Said::Refused { .. }),
+        matches!(said, ClientEvent::Refused { .. }),
         "nothing ran: {said:?}"
     );
     assert_eq!(
@@ -110,7 +111,7 @@
     );
     assert!(matches!(
         player.open_and_wait("free-full", FREE).1,
-        Said::Plays { .. }
+        ClientEvent::Plays { .. }
     ));
     disk.full.store(false, Ordering::Release);
     wait("room to be found", || {
@@ -119,7 +120,7 @@
             player
                 .open_and_wait(&format!("again-{}", rig.seen(|_| true)), PAID)
                 .1,
-            Said::Plays { .. }
+            ClientEvent::Plays { .. }
         )
     });
     assert_eq!(store_state(&rig), "written");
@@ -141,12 +142,12 @@
         let mut player = rig.player();
         assert!(matches!(
             player.open_and_wait("paid-without", PAID).1,
-            Said::Refused { .. }
+            ClientEvent::Refused { .. }
         ));
         assert_eq!(rig.of_key("paid-without"), (0, 0));
         assert!(matches!(
             player.open_and_wait("free-without", FREE).1,
-            Said::Plays { .. }
+            ClientEvent::Plays { .. }
         ));
     }
 }
--- a/crates/daemon/tests/rig/mod.rs
+++ b/crates/daemon/tests/rig/mod.rs
@@ -2,14 +2,14 @@
 #![allow(dead_code)]
 use crankpaddle_config::Config;
 use crankpaddle_daemon::Daemon;
-use crankpaddle_lab::judge::{judge, Rules, Verdict};
-use crankpaddle_lab::list_service::{entry, ListService, State};
-use crankpaddle_lab::mode::Mode;
-use crankpaddle_lab::record::{Record, Recorder, Seen};
-use crankpaddle_lab::script::{front_block, FLEET};
-use crankpaddle_lab::server::{Fleet, Layout};
-use crankpaddle_session_api::client::{self, Said};
+use crankpaddle_session_api::client::{self, ClientEvent};
 use crankpaddle_session_api::methods::Open;
+use crankpaddle_testbed::fault_mode::Mode;
+use crankpaddle_testbed::invariant_checker::{judge, Rules, Verdict};
+use crankpaddle_testbed::list_service::{entry, EndpointState, ListService};
+use crankpaddle_testbed::record::{Record, Recorder, Seen};
+use crankpaddle_testbed::script::{front_block, FLEET};
+use crankpaddle_testbed::server::{Fleet, Layout};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
@@ -85,7 +85,7 @@
     let entries = fleet
         .servers
         .iter()
-        .map(|s| entry(config, s.id, s.address, State::Ready, 0))
+        .map(|s| entry(config, s.id, s.address, EndpointState::Ready, 0))
         .collect();
     ListService::start(entries, 1_000_000, recorder.clone()).unwrap()
 }
@@ -170,7 +170,7 @@
         loop {
             n += 1;
             let (_, said) = player.open_and_wait(&format!("probe-{n:04}"), FREE);
-            if let Said::Plays { session, .. } = said {
+            if let ClientEvent::Plays { session, .. } = said {
                 player.close_session(&session);
                 break;
             }
@@ -193,7 +193,7 @@
 
     /// Set-ups and bills of the session with this key.
     pub(crate) fn of_key(&self, key: &str) -> (usize, usize) {
-        let label = crankpaddle_upstream::sessions::bill(key);
+        let label = crankpaddle_server_protocol::sessions::bill(key);
         let sent = self.seen(|s| matches!(s, Seen::SetUp { bill, .. } if *bill == label));
         (
             sent,
@@ -290,7 +290,7 @@
         self.open_for(key, class, "clip-03")
     }
 
-    pub(crate) fn hear(&mut self) -> Said {
+    pub(crate) fn hear(&mut self) -> ClientEvent {
         loop {
             match self.socket.read().unwrap() {
                 Message::Text(text) => return client::read(&text).unwrap().remove(0),
@@ -300,18 +300,18 @@
         }
     }
 
-    pub(crate) fn open_and_wait(&mut self, key: &str, class: &str) -> (u64, Said) {
+    pub(crate) fn open_and_wait(&mut self, key: &str, class: &str) -> (u64, ClientEvent) {
         let call = self.open(key, class);
         (call, self.hear())
     }
 
-    pub(crate) fn close_session(&mut self, session: &str) -> Said {
+    pub(crate) fn close_session(&mut self, session: &str) -> ClientEvent {
         self.calls += 1;
         let text = client::close(self.calls, session);
         self.say(text);
         loop {
             match self.hear() {
-                Said::Rung { .. } => {}
+                ClientEvent::Rung { .. } => {}
                 said => return said,
             }
         }
