--- a/crates/daemon/tests/set_ups.rs
+++ b/crates/daemon/tests/set_ups.rs
@@ -1,13 +1,13 @@
 //! Servers that misbehave during a set-up, and players that are lost in the midst of one.
 mod rig;
-use crankpaddle_lab::record::{Reply, Seen};
-use crankpaddle_session_api::client::Said;
+use crankpaddle_session_api::client::ClientEvent;
+use crankpaddle_testbed::record::{Reply, Seen};
 use rig::{wait, Player, Rig, FREE, PAID};
 use std::time::{Duration, Instant};
 
-fn reason(said: &Said) -> &str {
+fn reason(said: &ClientEvent) -> &str {
     match said {
-        Said::Failed { reason, .. } | Said::Refused { reason, .. } => reason,
+        ClientEvent::Failed { reason, .. } | ClientEvent::Refused { reason, .. } => reason,
         other => panic!("{other:?}"),
     }
 }
@@ -25,7 +25,7 @@
         "its viewer waits 1.5 s: {took:?}"
     );
     assert!(
-        matches!(&said, Said::Failed { id, reason } if *id == call && reason == "no_answer"),
+        matches!(&said, ClientEvent::Failed { id, reason } if *id == call && reason == "no_answer"),
         "{said:?}"
     );
     assert_eq!(
@@ -75,7 +75,10 @@
     );
     // A free one may be tried elsewhere.
     let (_, said) = player.open_and_wait("free-reset", FREE);
-    assert!(matches!(said, Said::Refused { .. } | Said::Failed { .. }));
+    assert!(matches!(
+        said,
+        ClientEvent::Refused { .. } | ClientEvent::Failed { .. }
+    ));
     assert!(rig.of_key("free-reset").0 > 1, "tried again");
     assert_eq!(rig.verdict().breaches, []);
 }
@@ -90,7 +93,7 @@
     let mut player = rig.player();
     for n in 0..6 {
         let (_, said) = player.open_and_wait(&format!("elsewhere-{n}"), PAID);
-        assert!(matches!(said, Said::Plays { .. }), "{said:?}");
+        assert!(matches!(said, ClientEvent::Plays { .. }), "{said:?}");
         assert_eq!(
             rig.of_key(&format!("elsewhere-{n}")),
             (1, 1),
@@ -113,7 +116,7 @@
     rig.modes(|m| m.hangs = false);
     let said = second.hear();
     assert!(
-        matches!(said, Said::Plays { id, .. } if id == call),
+        matches!(said, ClientEvent::Plays { id, .. } if id == call),
         "{said:?}"
     );
     assert_eq!(rig.of_key("reconnects"), (1, 1));
@@ -150,23 +153,26 @@
         rig.of_key("claimed-by-two").0 == 1
     });
     let other = second.open("claimed-by-two", PAID);
-    assert_eq!(first.hear(), Said::Superseded { id: call });
+    assert_eq!(first.hear(), ClientEvent::Superseded { id: call });
     rig.modes(|m| m.hangs = false);
-    let Said::Plays { id, session, .. } = second.hear() else {
+    let ClientEvent::Plays { id, session, .. } = second.hear() else {
         panic!()
     };
     assert_eq!((id, rig.of_key("claimed-by-two")), (other, (1, 1)));
     assert!(
-        matches!(first.close_session(&session), Said::Unknown { .. }),
+        matches!(first.close_session(&session), ClientEvent::Unknown { .. }),
         "it is not the first one's"
     );
     // The first takes it back: the second is told so.
     first.say(
         r#"{"jsonrpc":"2.0","id":9,"method":"session.resume","params":{"key":"claimed-by-two"}}"#,
     );
-    assert!(matches!(first.hear(), Said::Plays { id: 9, .. }));
-    assert!(matches!(second.hear(), Said::End { reason, .. } if reason == "taken_over"));
-    assert!(matches!(first.close_session(&session), Said::Closed { .. }));
+    assert!(matches!(first.hear(), ClientEvent::Plays { id: 9, .. }));
+    assert!(matches!(second.hear(), ClientEvent::End { reason, .. } if reason == "taken_over"));
+    assert!(matches!(
+        first.close_session(&session),
+        ClientEvent::Closed { .. }
+    ));
     wait("the session to end", || rig.fleet.streams() == 0);
 }
 
@@ -183,7 +189,10 @@
     );
     let (_, said) = player.open_and_wait("trickle-free", FREE);
     assert!(
-        matches!(said, Said::Refused { .. } | Said::Failed { .. }),
+        matches!(
+            said,
+            ClientEvent::Refused { .. } | ClientEvent::Failed { .. }
+        ),
         "{said:?}"
     );
     assert!(
@@ -205,7 +214,10 @@
     );
     let (_, said) = player.open_and_wait("errors-free", FREE);
     assert!(
-        matches!(said, Said::Refused { .. } | Said::Failed { .. }),
+        matches!(
+            said,
+            ClientEvent::Refused { .. } | ClientEvent::Failed { .. }
+        ),
         "{said:?}"
     );
     assert!(rig.of_key("errors-free").0 > 1);
@@ -216,12 +228,12 @@
     let rig = Rig::new(&[]);
     let mut player = rig.player();
     let (_, said) = player.open_and_wait("lost-later", FREE);
-    let Said::Plays { session, .. } = said else {
+    let ClientEvent::Plays { session, .. } = said else {
         panic!("{said:?}")
     };
-    let holds = |r: &crankpaddle_lab::record::Record| match &r.seen {
+    let holds = |r: &crankpaddle_testbed::record::Record| match &r.seen {
         Seen::SetUp { server, bill, .. }
-            if *bill == crankpaddle_upstream::sessions::bill("lost-later") =>
+            if *bill == crankpaddle_server_protocol::sessions::bill("lost-later") =>
         {
             Some(*server)
         }
@@ -230,7 +242,7 @@
     let server = rig.recorder.all().iter().find_map(holds).unwrap();
     rig.fleet.crash(server);
     let told = player.hear();
-    let Said::End {
+    let ClientEvent::End {
         session: of,
         reason,
         retry_after_ms,
@@ -253,7 +265,7 @@
     );
     // And the viewer comes again.
     let (_, said) = player.open_and_wait("lost-again", FREE);
-    assert!(matches!(said, Said::Plays { .. }), "{said:?}");
+    assert!(matches!(said, ClientEvent::Plays { .. }), "{said:?}");
 }
 
 #[test]
@@ -261,11 +273,11 @@
     let rig = Rig::new(&[]);
     let mut player = rig.player();
     let (_, said) = player.open_and_wait("silent-later", FREE);
-    assert!(matches!(said, Said::Plays { .. }));
+    assert!(matches!(said, ClientEvent::Plays { .. }));
     rig.modes(|m| m.vanished = true);
     let told = player.hear();
     assert!(
-        matches!(&told, Said::End { reason, .. } if reason == "server_lost"),
+        matches!(&told, ClientEvent::End { reason, .. } if reason == "server_lost"),
         "{told:?}"
     );
 }
@@ -283,7 +295,7 @@
     }
     drop(broken);
     let (_, said) = good.open_and_wait("unharmed", FREE);
-    assert!(matches!(said, Said::Plays { .. }), "{said:?}");
+    assert!(matches!(said, ClientEvent::Plays { .. }), "{said:?}");
 }
 
 #[test]
@@ -296,7 +308,7 @@
         n += 1;
         let call = player.open_for(&format!("before-{n:04}"), FREE, "clip-05");
         let said = player.hear();
-        if let Said::Plays { session, id, .. } = &said {
+        if let ClientEvent::Plays { session, id, .. } = &said {
             assert_eq!(*id, call);
             player.close_session(session);
         }
@@ -311,7 +323,7 @@
         n += 1;
         player.open_for(&format!("after-{n:04}"), FREE, "clip-05");
         let said = player.hear();
-        if let Said::Plays { session, .. } = &said {
+        if let ClientEvent::Plays { session, .. } = &said {
             player.close_session(session);
         }
         (1..4).all(|id| rig.fleet.servers[id].listeners() > 0)
@@ -321,7 +333,10 @@
         .map(|n| crowd.open_for(&format!("crowd-{n:03}"), FREE, "clip-05"))
         .collect::<Vec<_>>();
     for _ in &calls {
-        while matches!(crowd.hear(), Said::Rung { .. } | Said::End { .. }) {}
+        while matches!(
+            crowd.hear(),
+            ClientEvent::Rung { .. } | ClientEvent::End { .. }
+        ) {}
     }
     assert_eq!(
         rig.seen(|s| matches!(s, Seen::Fell { .. })),
--- a/crates/daemon/tests/traffic.rs
+++ b/crates/daemon/tests/traffic.rs
@@ -1,11 +1,11 @@
 //! Traffic between halls over sockets: budgets that hold previews at home, accounts that agree with the servers, and
 //! survive.
 mod rig;
+use crankpaddle_cross_zone_traffic::report::TrafficReport;
 use crankpaddle_daemon::Daemon;
-use crankpaddle_lab::crossing::crossed;
-use crankpaddle_lab::list_service::{entry, State};
-use crankpaddle_session_api::client::Said;
-use crankpaddle_traffic::report::Report;
+use crankpaddle_session_api::client::ClientEvent;
+use crankpaddle_testbed::crossing::crossed;
+use crankpaddle_testbed::list_service::{entry, EndpointState};
 use rig::{wait, Rig, FREE, LONG, PAID};
 use std::io::{Read, Write};
 use std::net::SocketAddr;
@@ -18,7 +18,7 @@
     "budget { from: \"south\" to: \"north\" rate: \"1kB/s\" burst: \"1B\" repay: \"1s\" }\nlog {",
 );
 
-fn report(address: SocketAddr) -> Report {
+fn report(address: SocketAddr) -> TrafficReport {
     crankpaddle_traffic_report::fetch(&address, LONG).unwrap()
 }
 
@@ -53,7 +53,7 @@
         let call = player.open_for(&format!("{name}-{n:04}"), class, "clip-00");
         loop {
             match player.hear() {
-                Said::Plays { id, media, .. } if id == call => {
+                ClientEvent::Plays { id, media, .. } if id == call => {
                     let address = media
                         .trim_start_matches("http://")
                         .split('/')
@@ -69,8 +69,8 @@
                     all.push(server.id);
                     break;
                 }
-                Said::Refused { id, .. } if id == call => break,
-                Said::Rung { .. } | Said::End { .. } => {}
+                ClientEvent::Refused { id, .. } if id == call => break,
+                ClientEvent::Rung { .. } | ClientEvent::End { .. } => {}
                 other => panic!("{other:?}"),
             }
         }
@@ -97,7 +97,7 @@
         rig.fleet.crash(id);
         let address = rig.fleet.servers[id as usize].address;
         rig.list
-            .change(entry(&rig.config, id, address, State::Gone, 0));
+            .change(entry(&rig.config, id, address, EndpointState::Gone, 0));
     }
     wait("the sessions to be over", || rig.daemon.counts() == (0, 0));
     wait("the front to know that its hall is gone", || {
@@ -127,7 +127,7 @@
     // Some media is fetched, and cut off within a segment.
     let mut player = rig.player();
     let (_, said) = player.open_and_wait("fetched-1", FREE);
-    let Said::Plays { media, session, .. } = said else {
+    let ClientEvent::Plays { media, session, .. } = said else {
         panic!("{said:?}")
     };
     fetch_some(&media);
@@ -139,7 +139,7 @@
     let told = report(rig.daemon.address());
     assert!(logged.bytes.values().sum::<u64>() > 0);
     for ((from, to, class), bytes) in &logged.bytes {
-        let of = |f: &&crankpaddle_traffic::report::FlowReport| {
+        let of = |f: &&crankpaddle_cross_zone_traffic::report::FlowReport| {
             (&f.from, &f.to, &f.class) == (from, to, class)
         };
         let sum: u64 = told.flows.iter().filter(of).map(|f| f.bytes).sum();
@@ -157,13 +157,13 @@
             rig::front(&rig::text(&[]), &rig.list.address, "").replacen("front {", &named, 1);
         Daemon::start(crankpaddle_config::parse(&text).unwrap())
     };
-    let total = |r: &Report| r.flows.iter().map(|f| f.bytes).sum::<u64>();
+    let total = |r: &TrafficReport| r.flows.iter().map(|f| f.bytes).sum::<u64>();
     let first = start().unwrap();
     let mut player = rig::Player::connect(first.address());
     let mut tries = 0;
     let media = loop {
         tries += 1;
-        if let (_, Said::Plays { media, .. }) =
+        if let (_, ClientEvent::Plays { media, .. }) =
             player.open_and_wait(&format!("kept-{tries:04}"), FREE)
         {
             break media;
--- a/crates/fleet-net/examples/foca.rs
+++ b/crates/fault-simulation/examples/foca.rs
@@ -1,11 +1,11 @@
 //! The registry crate `foca` on the same net and by the same cases as the project's own members, to weigh one against the other:
-//! `cargo run --release -p crankpaddle-fleet-net --example foca -- CASE FRONTS SEED`. Its settings are those that it gives for a
+//! `cargo run --release -p crankpaddle-fault-simulation --example foca -- CASE FRONTS SEED`. Its settings are those that it gives for a
 //! local net, but for members that are down, which are asked every 2 s as ours are (65 s there). It has no standing of one's own, no
 //! board, and no word for who left; claims on these are broken by that alone.
-use crankpaddle_fleet_net::{
+use crankpaddle_fault_simulation::{
     name, parse, play, Act, Case, Fronts, Rate, Turn, Weather, World, CASES, MS, SECOND,
 };
-use crankpaddle_membership::{Standing, State};
+use crankpaddle_membership::{LocalHealth, MemberState};
 use foca::{
     AccumulatingRuntime, Config, Foca, Identity, NoCustomBroadcast, OwnedNotification,
     PeriodicParams, PostcardCodec, Timer,
@@ -55,7 +55,7 @@
     life: u64,
     backlog: Vec<Vec<u8>>,
     late: Vec<Timer<Id>>, // Timers that fell due while it stood still.
-    states: Vec<Option<(State, u64)>>,
+    states: Vec<Option<(MemberState, u64)>>,
     sent: (u64, u64),
 }
 
@@ -184,9 +184,9 @@
         while let Some(word) = runtime.to_notify() {
             let (of, state) = match word {
                 OwnedNotification::MemberUp(id) | OwnedNotification::Rename(_, id) => {
-                    (id, State::Alive)
+                    (id, MemberState::Alive)
                 }
-                OwnedNotification::MemberDown(id) => (id, State::Gone),
+                OwnedNotification::MemberDown(id) => (id, MemberState::Gone),
                 _ => continue,
             };
             let known = &mut self.nodes[i].states[of.number as usize];
@@ -324,11 +324,11 @@
         Ok(())
     }
 
-    fn state(&self, at: usize, of: usize) -> Option<State> {
+    fn state(&self, at: usize, of: usize) -> Option<MemberState> {
         self.nodes[at].states[of].map(|(state, _)| state)
     }
 
-    fn standing(&self, _: usize) -> Option<Standing> {
+    fn standing(&self, _: usize) -> Option<LocalHealth> {
         None
     }
 
--- a/crates/fleet-net/src/world.rs
+++ b/crates/fault-simulation/src/cluster.rs
@@ -1,6 +1,6 @@
 //! What a case is played on: fleets in one process, or of processes.
-use crate::script::Act;
-use crankpaddle_membership::{Standing, State};
+use crate::scenario::Act;
+use crankpaddle_membership::{LocalHealth, MemberState};
 
 /// A front came to take another for something else.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -12,7 +12,7 @@
     /// Of which front.
     pub of: usize,
     /// What for.
-    pub state: State,
+    pub state: MemberState,
     /// Whether it is another life of it than before.
     pub restarted: bool,
 }
@@ -34,9 +34,9 @@
     /// It can't be done here.
     fn act(&mut self, act: &Act) -> Result<(), String>;
     /// What one takes another for; `None`: it does not know it, or was not asked yet.
-    fn state(&self, at: usize, of: usize) -> Option<State>;
+    fn state(&self, at: usize, of: usize) -> Option<MemberState>;
     /// How one stands with the others.
-    fn standing(&self, at: usize) -> Option<Standing>;
+    fn standing(&self, at: usize) -> Option<LocalHealth>;
     /// What changed from a time on, in order.
     fn turns(&self, from: u64) -> Vec<Turn>;
     /// How old one takes an entry for that another wrote last, if it holds it; and how old it is.
@@ -55,7 +55,7 @@
 }
 
 /// Whether each of `at` takes each of `of` (but itself) for this.
-pub fn all<W: World + ?Sized>(world: &W, at: &[usize], of: &[usize], state: State) -> bool {
+pub fn all<W: World + ?Sized>(world: &W, at: &[usize], of: &[usize], state: MemberState) -> bool {
     at.iter().all(|a| {
         of.iter()
             .all(|o| a == o || world.state(*a, *o) == Some(state))
--- a/crates/fleet-net/src/lib.rs
+++ b/crates/fault-simulation/src/lib.rs
@@ -3,14 +3,14 @@
 #![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+mod cluster;
 mod net;
-mod play;
-mod script;
-mod weather;
-mod world;
+mod network_conditions;
+mod runner;
+mod scenario;
 
+pub use cluster::{all, Cuts, Rate, Turn, World};
 pub use net::{name, number, settings, Net, Node, MS, SECOND};
-pub use play::{play, Judged, Played};
-pub use script::{parse, Act, Bound, Case, Claim, Fronts, Power, Spoil, Step, CASES};
-pub use weather::{Lets, Weather};
-pub use world::{all, Cuts, Rate, Turn, World};
+pub use network_conditions::{Lets, Weather};
+pub use runner::{play, Judged, Played};
+pub use scenario::{parse, Act, Bound, Case, Claim, Fronts, Power, Spoil, Step, CASES};
--- a/crates/fleet-net/src/net.rs
+++ b/crates/fault-simulation/src/net.rs
@@ -1,8 +1,10 @@
 //! A net in memory on a given clock: members, delays, loss, cuts, stops, deaths. Everything drawn follows from one seed.
-use crate::script::{Act, Case, Fronts};
-use crate::weather::Weather;
-use crate::world::{self, Rate, Turn, World};
-use crankpaddle_membership::{Change, Output, Peers, Settings, Standing, State};
+use crate::cluster::{self, Rate, Turn, World};
+use crate::network_conditions::Weather;
+use crate::scenario::{Act, Case, Fronts};
+use crankpaddle_membership::{
+    LocalHealth, MemberChange, MemberState, Membership, MembershipConfig, Output,
+};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
@@ -30,7 +32,7 @@
 /// A process of the fleet.
 pub struct Node {
     /// Its state machine.
-    pub peers: Peers,
+    pub peers: Membership,
     /// Whether it runs.
     pub up: bool,
     /// Whether it was stopped and stands still.
@@ -48,9 +50,9 @@
     /// The processes, by number.
     pub nodes: Vec<Node>,
     /// What members came to take others for: when, who, what.
-    pub changes: Vec<(u64, usize, Change)>,
+    pub changes: Vec<(u64, usize, MemberChange)>,
     /// Their own standings.
-    pub standings: Vec<(u64, usize, Standing)>,
+    pub standings: Vec<(u64, usize, LocalHealth)>,
     /// What the net does to datagrams.
     pub weather: Weather,
     /// Whether copies of all that is sent are kept.
@@ -77,15 +79,15 @@
 }
 
 /// Settings of the front of this number, found by others at its name.
-pub fn settings(i: usize, seeds: &[usize]) -> Settings {
-    Settings {
+pub fn settings(i: usize, seeds: &[usize]) -> MembershipConfig {
+    MembershipConfig {
         name: name(i),
         address: name(i),
         epoch: 1_000_000,
-        life: i as u64 + 1,
+        incarnation: i as u64 + 1,
         key: [7; 16],
         seeds: seeds.iter().map(|s| name(*s)).collect(),
-        ..Settings::default()
+        ..MembershipConfig::default()
     }
 }
 
@@ -131,10 +133,10 @@
     }
 
     /// Starts a process; where one of this name ran, it takes its place.
-    pub fn start(&mut self, settings: Settings) -> usize {
+    pub fn start(&mut self, settings: MembershipConfig) -> usize {
         let address = settings.address.clone();
         let seeds: Vec<usize> = settings.seeds.iter().filter_map(|s| number(s)).collect();
-        let peers = Peers::new(settings, self.rng.rand_u64(), self.now);
+        let peers = Membership::new(settings, self.rng.rand_u64(), self.now);
         let node = Node {
             peers,
             up: true,
@@ -169,7 +171,7 @@
     }
 
     fn arm(&mut self, i: usize) {
-        let at = self.nodes[i].peers.next().max(self.now);
+        let at = self.nodes[i].peers.next_expiry().max(self.now);
         if at != self.nodes[i].wake && at < u64::MAX {
             self.nodes[i].wake = at;
             self.push(at, Event::Wake(i));
@@ -180,7 +182,7 @@
     pub fn tell<T>(
         &mut self,
         i: usize,
-        what: impl FnOnce(&mut Peers, u64, &mut Vec<Output>) -> T,
+        what: impl FnOnce(&mut Membership, u64, &mut Vec<Output>) -> T,
     ) -> T {
         let mut out = Vec::new();
         let result = what(&mut self.nodes[i].peers, self.now, &mut out);
@@ -197,8 +199,10 @@
                     }
                     self.carry(i, to, bytes);
                 }
-                Output::Change(change) => self.changes.push((self.now, i, change)),
-                Output::Standing(standing) => self.standings.push((self.now, i, standing)),
+                Output::MemberChanged(change) => self.changes.push((self.now, i, change)),
+                Output::LocalHealthChanged(standing) => {
+                    self.standings.push((self.now, i, standing));
+                }
             }
         }
         self.arm(i);
@@ -226,9 +230,9 @@
     fn anew(&mut self, i: usize) {
         let known = self.nodes[i].seeds.clone();
         self.lives += 1;
-        self.start(Settings {
+        self.start(MembershipConfig {
             epoch: 500_000,
-            life: 1_000_000 + self.lives,
+            incarnation: 1_000_000 + self.lives,
             ..settings(i, &known)
         });
     }
@@ -251,7 +255,7 @@
                     let node = &mut self.nodes[i];
                     if node.up && !node.stopped && node.wake == at {
                         node.wake = u64::MAX;
-                        self.tell(i, crankpaddle_membership::Peers::expire);
+                        self.tell(i, crankpaddle_membership::Membership::expire);
                     }
                 }
             }
@@ -271,7 +275,7 @@
             return;
         }
         let from = self.nodes[from].address.clone();
-        self.tell(to, |p, now, out| p.hear(now, &from, &bytes, out));
+        self.tell(to, |p, now, out| p.receive(now, &from, &bytes, out));
     }
 
     /// Ends a process without a word.
@@ -290,12 +294,12 @@
         for (from, bytes) in std::mem::take(&mut self.nodes[i].backlog) {
             self.deliver(from, i, bytes);
         }
-        self.tell(i, crankpaddle_membership::Peers::expire);
+        self.tell(i, crankpaddle_membership::Membership::expire);
     }
 
     /// Whether each of `at` takes each of `of` (but itself) for this.
-    pub fn all(&self, at: &[usize], of: &[usize], state: State) -> bool {
-        world::all(self, at, of, state)
+    pub fn all(&self, at: &[usize], of: &[usize], state: MemberState) -> bool {
+        cluster::all(self, at, of, state)
     }
 
     /// Runs until something holds; how long it took.
@@ -312,8 +316,8 @@
 
     /// Members that were taken for gone by somebody from a time on.
     pub fn accused(&self, from: u64) -> Vec<(usize, String)> {
-        let gone = |(at, by, c): &(u64, usize, Change)| {
-            (*at >= from && c.state == State::Gone).then(|| (*by, c.name.clone()))
+        let gone = |(at, by, c): &(u64, usize, MemberChange)| {
+            (*at >= from && c.state == MemberState::Gone).then(|| (*by, c.name.clone()))
         };
         self.changes.iter().filter_map(gone).collect()
     }
@@ -348,7 +352,7 @@
             Act::Kill(fronts) => each(fronts).into_iter().for_each(|i| self.kill(i)),
             Act::End(fronts) => {
                 for i in each(fronts) {
-                    self.tell(i, crankpaddle_membership::Peers::leave);
+                    self.tell(i, crankpaddle_membership::Membership::leave);
                     self.kill(i);
                 }
             }
@@ -378,16 +382,16 @@
         Ok(())
     }
 
-    fn state(&self, at: usize, of: usize) -> Option<State> {
+    fn state(&self, at: usize, of: usize) -> Option<MemberState> {
         self.nodes[at].peers.state_of(&name(of))
     }
 
-    fn standing(&self, at: usize) -> Option<Standing> {
-        Some(self.nodes[at].peers.standing())
+    fn standing(&self, at: usize) -> Option<LocalHealth> {
+        Some(self.nodes[at].peers.local_health())
     }
 
     fn turns(&self, from: u64) -> Vec<Turn> {
-        let turn = |(at, by, c): &(u64, usize, Change)| {
+        let turn = |(at, by, c): &(u64, usize, MemberChange)| {
             let of = *self.names.get(&c.name)?;
             Some(Turn {
                 at: *at,
--- a/crates/fleet-net/src/weather.rs
+++ b/crates/fault-simulation/src/network_conditions.rs
@@ -1,6 +1,6 @@
 //! What a net does to datagrams: which are lost, doubled, late, cut off. The same for a net in memory and for one of sockets.
-use crate::script::Act;
-use crate::world::Cuts;
+use crate::cluster::Cuts;
+use crate::scenario::Act;
 use std::collections::HashMap;
 
 /// What waits longer than this for a way with a bandwidth is lost.
--- a/crates/fleet-net/src/play.rs
+++ b/crates/fault-simulation/src/runner.rs
@@ -1,8 +1,8 @@
 //! Plays a case on a fleet and judges what is claimed of it.
+use crate::cluster::{all, Rate, Turn, World};
 use crate::net::{MS, SECOND};
-use crate::script::{Case, Claim, Step};
-use crate::world::{all, Rate, Turn, World};
-use crankpaddle_membership::State;
+use crate::scenario::{Case, Claim, Step};
+use crankpaddle_membership::MemberState;
 use std::collections::BTreeSet;
 
 /// So often is looked whether something holds.
@@ -106,7 +106,7 @@
             let (at, of, bound) = (at.of(fleet), of.of(fleet), bound.of(fleet));
             let took = until(world, 2 * bound, |w| all(w, &at, &of, *state));
             let counts = |t: &Turn| t.state == *state && at.contains(&t.by) && of.contains(&t.of);
-            let half = if *state == State::Alive {
+            let half = if *state == MemberState::Alive {
                 String::new()
             } else {
                 half(&world.turns(from), from, counts)
@@ -114,8 +114,9 @@
             within(what, bound, took, &half)
         }
         Claim::Accused(by, but, most, each) => {
-            let wrong =
-                |t: &&Turn| t.state == State::Gone && by.has(t.by, fleet) && !but.has(t.of, fleet);
+            let wrong = |t: &&Turn| {
+                t.state == MemberState::Gone && by.has(t.by, fleet) && !but.has(t.of, fleet)
+            };
             let count = world.turns(mark).iter().filter(wrong).count();
             let most = f64::from(*most) + each * fleet as f64;
             Judged {
--- a/crates/fleet-net/src/script.rs
+++ b/crates/fault-simulation/src/scenario.rs
@@ -1,5 +1,5 @@
 //! Cases as files: protobuf text format, checked with line, column and what is allowed.
-use crankpaddle_membership::{Standing, State};
+use crankpaddle_membership::{LocalHealth, MemberState};
 use crankpaddle_textproto::{Checks, Problem};
 use std::collections::HashMap;
 
@@ -226,11 +226,11 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Claim {
     /// Each of the first takes each of the second for this.
-    See(Fronts, Fronts, State, Bound),
+    See(Fronts, Fronts, MemberState, Bound),
     /// Accusations by the first of any but the second since the mark: so many, and so many a front.
     Accused(Fronts, Fronts, u32, f64),
     /// Each stands so with the others.
-    Stands(Fronts, Standing, Bound),
+    Stands(Fronts, LocalHealth, Bound),
     /// Each of the first hears of another life of each of the second.
     News(Fronts, Fronts, Bound),
     /// This part of the others holds what was written; its age is right within a time.
@@ -443,14 +443,14 @@
                     self.fronts(&path("see.of"), &see.of),
                 );
                 let state = match see.state() {
-                    schema::State::Alive => State::Alive,
-                    schema::State::Suspect => State::Suspect,
-                    schema::State::Gone => State::Gone,
-                    schema::State::Left => State::Left,
+                    schema::State::Alive => MemberState::Alive,
+                    schema::State::Suspect => MemberState::Suspect,
+                    schema::State::Gone => MemberState::Gone,
+                    schema::State::Left => MemberState::Left,
                     schema::State::Unstated => {
                         self.c
                             .wrong(&path("see"), "has no state: ALIVE, SUSPECT, GONE or LEFT");
-                        State::Alive
+                        MemberState::Alive
                     }
                 };
                 let bound = self.bound(&path("see"), &see.bound);
@@ -475,17 +475,17 @@
             }
             Some(Raw::Stands(s)) => {
                 let standing = match s.r#as() {
-                    schema::Standing::Alone => Standing::Alone,
-                    schema::Standing::Connected => Standing::Connected,
-                    schema::Standing::Doubtful => Standing::Doubtful,
-                    schema::Standing::CutOff => Standing::CutOff,
-                    schema::Standing::Replaced => Standing::Replaced,
+                    schema::Standing::Alone => LocalHealth::Alone,
+                    schema::Standing::Connected => LocalHealth::Connected,
+                    schema::Standing::Doubtful => LocalHealth::Degraded,
+                    schema::Standing::CutOff => LocalHealth::Isolated,
+                    schema::Standing::Replaced => LocalHealth::Replaced,
                     schema::Standing::Unknown => {
                         self.c.wrong(
                             &path("stands"),
                             "has no as: ALONE, CONNECTED, DOUBTFUL, CUT_OFF or REPLACED",
                         );
-                        Standing::Alone
+                        LocalHealth::Alone
                     }
                 };
                 let (who, bound) = (
--- a/crates/fleet-net/tests/claims.rs
+++ b/crates/fault-simulation/tests/claims.rs
@@ -1,6 +1,6 @@
 //! The judge of claims is judged: for each kind a world in which it holds, and the nearest one in which it does not.
-use crankpaddle_fleet_net::*;
-use crankpaddle_membership::{Standing, State};
+use crankpaddle_fault_simulation::*;
+use crankpaddle_membership::{LocalHealth, MemberState};
 
 /// A world that is told what happens: who takes whom for what from when on, and all else as it is.
 #[derive(Default)]
@@ -8,7 +8,7 @@
     now: u64,
     fronts: usize,
     turns: Vec<Turn>,
-    standings: Vec<(u64, usize, Standing)>,
+    standings: Vec<(u64, usize, LocalHealth)>,
     entries: Vec<(u64, usize, u64)>, // From when, whose, how wrong its age is.
     acts: Vec<Act>,
 }
@@ -31,16 +31,16 @@
         Ok(())
     }
 
-    fn state(&self, at: usize, of: usize) -> Option<State> {
+    fn state(&self, at: usize, of: usize) -> Option<MemberState> {
         let known = |t: &&Turn| t.at <= self.now && (t.by, t.of) == (at, of);
         self.turns
             .iter()
             .rfind(known)
-            .map_or(Some(State::Alive), |t| Some(t.state))
+            .map_or(Some(MemberState::Alive), |t| Some(t.state))
     }
 
-    fn standing(&self, at: usize) -> Option<Standing> {
-        let known = |(when, who, _): &&(u64, usize, Standing)| *when <= self.now && *who == at;
+    fn standing(&self, at: usize) -> Option<LocalHealth> {
+        let known = |(when, who, _): &&(u64, usize, LocalHealth)| *when <= self.now && *who == at;
         self.standings
             .iter()
             .rfind(known)
@@ -68,7 +68,7 @@
     }
 }
 
-fn turn(at: u64, by: usize, of: usize, state: State) -> Turn {
+fn turn(at: u64, by: usize, of: usize, state: MemberState) -> Turn {
     Turn {
         at: at * MS,
         by,
@@ -93,7 +93,7 @@
     let step = r#"see { claim: "c" at: "!3" of: "3" state: GONE bound { within: "1s" } }"#;
     let gone = |times: [u64; 3]| Told {
         turns: (0..3)
-            .map(|by| turn(times[by], by, 3, State::Gone))
+            .map(|by| turn(times[by], by, 3, MemberState::Gone))
             .collect(),
         ..Told::default()
     };
@@ -101,7 +101,9 @@
     assert!(!kept(step, gone([1100, 1500, 2100])), "one is late");
     assert!(!kept(step, gone([1100, 1500, 9000])), "one never sees it");
     let left = Told {
-        turns: (0..3).map(|by| turn(1100, by, 3, State::Left)).collect(),
+        turns: (0..3)
+            .map(|by| turn(1100, by, 3, MemberState::Left))
+            .collect(),
         ..Told::default()
     };
     assert!(!kept(step, left), "another state");
@@ -122,26 +124,29 @@
         ..Told::default()
     };
     assert!(
-        kept(&step(""), of(vec![turn(500, 0, 3, State::Gone)])),
+        kept(&step(""), of(vec![turn(500, 0, 3, MemberState::Gone)])),
         "rightly"
     );
     assert!(
-        kept(&step(""), of(vec![turn(500, 2, 1, State::Gone)])),
+        kept(&step(""), of(vec![turn(500, 2, 1, MemberState::Gone)])),
         "by another"
     );
     assert!(
-        kept(&step(""), of(vec![turn(500, 0, 2, State::Suspect)])),
+        kept(&step(""), of(vec![turn(500, 0, 2, MemberState::Suspect)])),
         "only suspected"
     );
     assert!(
-        kept(&step(""), of(vec![turn(0, 0, 2, State::Gone)])),
+        kept(&step(""), of(vec![turn(0, 0, 2, MemberState::Gone)])),
         "before the mark"
     );
-    assert!(!kept(&step(""), of(vec![turn(500, 0, 2, State::Gone)])));
+    assert!(!kept(
+        &step(""),
+        of(vec![turn(500, 0, 2, MemberState::Gone)])
+    ));
     let both = || {
         of(vec![
-            turn(500, 0, 2, State::Gone),
-            turn(600, 1, 2, State::Gone),
+            turn(500, 0, 2, MemberState::Gone),
+            turn(600, 1, 2, MemberState::Gone),
         ])
     };
     assert!(kept(&step("most: 2"), both()) && !kept(&step("most: 1"), both()));
@@ -158,19 +163,22 @@
     assert!(kept(
         stands,
         of(vec![
-            (0, 0, Standing::CutOff),
-            (1900 * MS, 1, Standing::CutOff)
+            (0, 0, LocalHealth::Isolated),
+            (1900 * MS, 1, LocalHealth::Isolated)
         ])
     ));
     assert!(!kept(
         stands,
-        of(vec![(0, 0, Standing::CutOff), (0, 1, Standing::Doubtful)])
+        of(vec![
+            (0, 0, LocalHealth::Isolated),
+            (0, 1, LocalHealth::Degraded)
+        ])
     ));
 
     let news = r#"news { claim: "c" at: "!3" of: "3" bound { within: "1s" } }"#;
     let heard = |by: usize, restarted| Turn {
         restarted,
-        ..turn(1200, by, 3, State::Alive)
+        ..turn(1200, by, 3, MemberState::Alive)
     };
     let all = |last| Told {
         turns: vec![heard(0, true), heard(1, true), heard(2, last)],
--- a/crates/front/src/core/attempts.rs
+++ b/crates/front/src/core/attempts.rs
@@ -1,16 +1,16 @@
 //! Attempts: how they come out, and what servers say of sessions.
-use super::{spread, Core, EARLY_NOTES};
-use crate::keys::{self, Past, Standing};
-use crate::messages::{Answer, AttemptId, Effect, Failure, Notice, OverReason};
-use crankpaddle::{Event, LoadField, Note, Outcome, Report, RequestId, Time};
+use super::{jitter, Core, EARLY_NOTES};
+use crate::io::{Answer, AttemptId, FailureReason, Notification, Output, SessionEndReason};
+use crate::keys::{self, KeyState, RequestOutcome};
+use crankpaddle::{AttemptOutcome, Event, LoadField, LoadReport, RequestId, SessionUpdate, Time};
 
 impl Core {
     pub(super) fn started(
         &mut self,
         now: Time,
         attempt: AttemptId,
-        report: Report,
-        out: &mut Vec<Effect>,
+        report: LoadReport,
+        out: &mut Vec<Output>,
     ) {
         let Some(id) = self.attempts.get(&attempt).copied() else {
             return;
@@ -18,15 +18,15 @@
         let Some(r) = self.requests.get_mut(&id) else {
             return;
         };
-        let (Standing::Waiting, Some((_, server, sent))) = (r.standing, r.out) else {
+        let (KeyState::Waiting, Some((_, server, sent))) = (r.standing, r.out) else {
             return;
         };
         if now >= r.gives_up {
             // Read too late, perhaps because we stood still: the viewer is gone.
-            out.push(Effect::Abandon(attempt, server));
-            return self.attempt_ended(attempt, Outcome::Timeout, report);
+            out.push(Output::AbandonAttempt(attempt, server));
+            return self.attempt_ended(attempt, AttemptOutcome::Timeout, report);
         }
-        r.standing = Standing::Playing;
+        r.standing = KeyState::Playing;
         let (rung, call, player) = (r.rung, r.call.take(), r.player);
         let (early, notes, number) = (
             r.early.take(),
@@ -42,42 +42,44 @@
         // that came to its end has played.
         let cut = early
             .as_ref()
-            .is_some_and(|(outcome, _)| *outcome != Outcome::Ok);
-        let plays = Answer::Plays {
+            .is_some_and(|(outcome, _)| *outcome != AttemptOutcome::Completed);
+        let plays = Answer::Established {
             session: id,
             attempt,
             server,
             rung,
         };
         let answer = if cut {
-            Answer::Failed(Failure::Broken)
+            Answer::Failed(FailureReason::ConnectionLost)
         } else {
             plays
         };
-        out.extend(call.map(|c| Effect::Answer(c, answer)));
+        out.extend(call.map(|c| Output::Answer(c, answer)));
         let (took, request) = (now.0.saturating_sub(sent.0), id);
-        self.events.push_back(Event::Playing {
+        self.events.push_back(Event::SessionEstablished {
             request,
             attempt: number,
             server,
-            took,
+            setup_time: took,
         });
         for (field, value) in report {
             let note = match field {
-                LoadField::LinkAsked | LoadField::LinkUtil => Note::Link(value),
-                LoadField::UplinkAsked => Note::Uplink(value),
+                LoadField::LinkDemand | LoadField::LinkUtilization => {
+                    SessionUpdate::LinkDemand(value)
+                }
+                LoadField::UplinkDemand => SessionUpdate::UplinkDemand(value),
                 _ => continue,
             };
-            self.events.push_back(Event::Note {
+            self.events.push_back(Event::SessionUpdated {
                 request,
                 server,
-                note,
+                update: note,
             });
         }
         notes.into_iter().for_each(|note| self.note(attempt, note));
         match early {
             Some((outcome, report)) if cut => {
-                self.end_playing(id, outcome, report, Past::Failed, None);
+                self.end_playing(id, outcome, report, RequestOutcome::Failed, None);
             }
             Some((outcome, report)) => self.over(attempt, outcome, report, out),
             None => {}
@@ -99,40 +101,43 @@
         let Some(r) = self
             .requests
             .get(&request)
-            .filter(|r| r.standing == Standing::Playing)
+            .filter(|r| r.standing == KeyState::Playing)
         else {
             return;
         };
-        let top = if lowered { 0 } else { r.ask.top };
-        self.events.push_back(Event::Top { request, top });
+        let top = if lowered { 0 } else { r.ask.max_rung };
+        self.events.push_back(Event::MaxRungChanged {
+            request,
+            max_rung: top,
+        });
     }
 
-    pub(super) fn timed_out(&mut self, now: Time, attempt: AttemptId, out: &mut Vec<Effect>) {
+    pub(super) fn timed_out(&mut self, now: Time, attempt: AttemptId, out: &mut Vec<Output>) {
         let Some(id) = self.attempts.get(&attempt).copied() else {
             return;
         };
         let Some(r) = self.requests.get(&id) else {
             return;
         };
-        if let (Standing::Waiting, Some((_, server, _))) = (r.standing, r.out) {
+        if let (KeyState::Waiting, Some((_, server, _))) = (r.standing, r.out) {
             // Danger: what a slow disk held back has not left; told as one that may have run, a paid request would fail for it.
             let outcome = if r.kept_back {
-                Outcome::Moot
+                AttemptOutcome::NotSent
             } else {
-                Outcome::Timeout
+                AttemptOutcome::Timeout
             };
-            out.push(Effect::Abandon(attempt, server));
-            self.attempt_ended(attempt, outcome, Report::new());
+            out.push(Output::AbandonAttempt(attempt, server));
+            self.attempt_ended(attempt, outcome, LoadReport::new());
             self.decide(now, out);
             self.left_unanswered(id, out);
         }
     }
 
-    pub(super) fn overdue(&mut self, now: Time, id: RequestId, out: &mut Vec<Effect>) {
+    pub(super) fn overdue(&mut self, now: Time, id: RequestId, out: &mut Vec<Output>) {
         let Some(r) = self
             .requests
             .get(&id)
-            .filter(|r| r.standing == Standing::Waiting)
+            .filter(|r| r.standing == KeyState::Waiting)
         else {
             return;
         };
@@ -144,24 +149,29 @@
 
     /// Danger: a request that waits with no attempt out would never be answered. The module answers each at once;
     /// should it ever not, the core does.
-    pub(super) fn left_unanswered(&mut self, id: RequestId, out: &mut Vec<Effect>) {
+    pub(super) fn left_unanswered(&mut self, id: RequestId, out: &mut Vec<Output>) {
         if self
             .requests
             .get(&id)
-            .is_some_and(|r| r.standing == Standing::Waiting && r.out.is_none())
+            .is_some_and(|r| r.standing == KeyState::Waiting && r.out.is_none())
         {
             debug_assert!(false, "the module left request {} without an answer", id.0);
-            self.events.push_back(Event::Left(id));
+            self.events.push_back(Event::ClientLeft(id));
             let failure = self.requests[&id].failure;
             self.answer_waiting(id, Answer::Failed(failure), out);
         }
     }
 
-    pub(super) fn attempt_ended(&mut self, attempt: AttemptId, outcome: Outcome, report: Report) {
+    pub(super) fn attempt_ended(
+        &mut self,
+        attempt: AttemptId,
+        outcome: AttemptOutcome,
+        report: LoadReport,
+    ) {
         let waits = |id| {
             self.requests
                 .get(id)
-                .is_some_and(|r| r.standing == Standing::Waiting)
+                .is_some_and(|r| r.standing == KeyState::Waiting)
         };
         if self.attempts.get(&attempt).is_some_and(waits) {
             self.attempt_over(attempt, outcome, false, report);
@@ -172,9 +182,9 @@
     pub(super) fn attempt_over(
         &mut self,
         attempt: AttemptId,
-        outcome: Outcome,
+        outcome: AttemptOutcome,
         closed: bool,
-        report: Report,
+        report: LoadReport,
     ) {
         let Some(request) = self.attempts.remove(&attempt) else {
             return;
@@ -187,30 +197,30 @@
         };
         r.ran |= !keys::never_ran(outcome);
         r.failure = match outcome {
-            Outcome::Error => Failure::ServerError,
-            Outcome::Reset => Failure::Broken,
-            Outcome::Cancelled => Failure::Withdrawn,
-            _ => Failure::NoAnswer,
+            AttemptOutcome::ServerError => FailureReason::ServerError,
+            AttemptOutcome::Reset => FailureReason::ConnectionLost,
+            AttemptOutcome::Cancelled => FailureReason::Cancelled,
+            _ => FailureReason::NoAnswer,
         };
         let number = r.attempts.saturating_sub(1);
-        self.events.push_back(Event::Ended {
+        self.events.push_back(Event::AttemptEnded {
             request,
             attempt: number,
             server,
             outcome,
-            closed,
+            is_final: closed,
             report,
         });
     }
 
-    pub(super) fn note(&mut self, attempt: AttemptId, note: Note) {
+    pub(super) fn note(&mut self, attempt: AttemptId, note: SessionUpdate) {
         let Some(request) = self.attempts.get(&attempt).copied() else {
             return;
         };
         let Some(r) = self.requests.get_mut(&request) else {
             return;
         };
-        if r.standing == Standing::Waiting {
+        if r.standing == KeyState::Waiting {
             // Danger: a server may tell of its link right before its answer. Dropped, the one fresh figure that each
             // set-up brings would be lost, and links be believed lighter or heavier than they are.
             if r.early_notes.len() < EARLY_NOTES {
@@ -219,13 +229,13 @@
             return;
         }
         if let Some((_, server, _)) = r.out {
-            if let Note::Rung(rung) = note {
+            if let SessionUpdate::Rung(rung) = note {
                 r.rung = rung;
             }
-            self.events.push_back(Event::Note {
+            self.events.push_back(Event::SessionUpdated {
                 request,
                 server,
-                note,
+                update: note,
             });
         }
     }
@@ -234,9 +244,9 @@
     pub(super) fn over(
         &mut self,
         attempt: AttemptId,
-        outcome: Outcome,
-        report: Report,
-        out: &mut Vec<Effect>,
+        outcome: AttemptOutcome,
+        report: LoadReport,
+        out: &mut Vec<Output>,
     ) {
         let Some(id) = self.attempts.get(&attempt).copied() else {
             return;
@@ -244,25 +254,27 @@
         let Some(r) = self.requests.get_mut(&id) else {
             return;
         };
-        if r.standing == Standing::Waiting {
+        if r.standing == KeyState::Waiting {
             // Danger: the answer and the end come over two connections, or together. An end that overtakes its answer
             // would be lost, and the session would play for ever.
             r.early = Some((outcome, report));
             return;
         }
         let player = r.player;
-        if self.end_playing(id, outcome, report, Past::Played, None) {
-            let reason = if outcome == Outcome::Ok {
-                OverReason::Finished
+        if self.end_playing(id, outcome, report, RequestOutcome::Played, None) {
+            let reason = if outcome == AttemptOutcome::Completed {
+                SessionEndReason::Finished
             } else {
-                OverReason::ServerLost
+                SessionEndReason::ServerLost
             };
-            let advice = if outcome == Outcome::Ok {
+            let advice = if outcome == AttemptOutcome::Completed {
                 0
             } else {
-                self.overload.advice(spread(id.0))
+                self.overload.retry_after(jitter(id.0))
             };
-            out.extend(player.map(|p| Effect::Notify(p, id, Notice::Over(reason, advice))));
+            out.extend(
+                player.map(|p| Output::Notify(p, id, Notification::SessionEnded(reason, advice))),
+            );
         }
     }
 }
--- a/crates/front/src/core/ends.rs
+++ b/crates/front/src/core/completion.rs
@@ -1,30 +1,30 @@
 //! Ends: of sessions, of waits, of what is kept of keys, and of the front.
-use super::{spread, Core};
-use crate::keys::{self, Past, Reopen, Standing};
-use crate::messages::{Answer, Effect, Failure, Notice, OverReason, Refusal};
+use super::{jitter, Core};
+use crate::io::{Answer, FailureReason, Notification, Output, RejectReason, SessionEndReason};
+use crate::keys::{self, KeyState, ReopenDecision, RequestOutcome};
 use crate::timers::Due;
-use crankpaddle::{Event, Outcome, Report, RequestId, Time};
+use crankpaddle::{AttemptOutcome, Event, LoadReport, RequestId, Time};
 
 impl Core {
     /// Ends a playing session; with `teardown` its server is told. False if it does not play.
     pub(super) fn end_playing(
         &mut self,
         id: RequestId,
-        outcome: Outcome,
-        report: Report,
-        past: Past,
-        teardown: Option<&mut Vec<Effect>>,
+        outcome: AttemptOutcome,
+        report: LoadReport,
+        past: RequestOutcome,
+        teardown: Option<&mut Vec<Output>>,
     ) -> bool {
         let Some(r) = self.requests.get_mut(&id) else {
             return false;
         };
-        let (Standing::Playing, Some((attempt, server, _))) = (r.standing, r.out) else {
+        let (KeyState::Playing, Some((attempt, server, _))) = (r.standing, r.out) else {
             return false;
         };
         if let Some(out) = teardown {
-            out.push(Effect::TearDown(attempt, server));
+            out.push(Output::TearDown(attempt, server));
         }
-        r.standing = Standing::Past(past);
+        r.standing = KeyState::Ended(past);
         let player = r.player.take();
         self.playing -= 1;
         self.attempt_over(attempt, outcome, true, report);
@@ -33,11 +33,11 @@
         true
     }
 
-    pub(super) fn answer_waiting(&mut self, id: RequestId, answer: Answer, out: &mut Vec<Effect>) {
+    pub(super) fn answer_waiting(&mut self, id: RequestId, answer: Answer, out: &mut Vec<Output>) {
         let Some(r) = self
             .requests
             .get_mut(&id)
-            .filter(|r| r.standing == Standing::Waiting)
+            .filter(|r| r.standing == KeyState::Waiting)
         else {
             return;
         };
@@ -46,32 +46,32 @@
             .settings
             .classes
             .get(usize::from(r.ask.class))
-            .map(|c| c.effect)
-            == Some(crankpaddle::Effect::SingleShot);
+            .map(|c| c.idempotency)
+            == Some(crankpaddle::Idempotency::AtMostOnce);
         // The last guard before the player: a refusal says that nothing ran.
         let answer = match answer {
-            Answer::Refused(..) if single && r.ran => Answer::Failed(r.failure),
+            Answer::Rejected(..) if single && r.ran => Answer::Failed(r.failure),
             other => other,
         };
-        let past = if matches!(answer, Answer::Refused(..)) {
-            Past::Refused
+        let past = if matches!(answer, Answer::Rejected(..)) {
+            RequestOutcome::Rejected
         } else {
-            Past::Failed
+            RequestOutcome::Failed
         };
         let call = r.call.take();
-        out.extend(call.map(|c| Effect::Answer(c, answer)));
+        out.extend(call.map(|c| Output::Answer(c, answer)));
         self.close_waiting(id, past);
     }
 
-    pub(super) fn close_waiting(&mut self, id: RequestId, past: Past) {
+    pub(super) fn close_waiting(&mut self, id: RequestId, past: RequestOutcome) {
         let Some(r) = self
             .requests
             .get_mut(&id)
-            .filter(|r| r.standing == Standing::Waiting)
+            .filter(|r| r.standing == KeyState::Waiting)
         else {
             return;
         };
-        r.standing = Standing::Past(past);
+        r.standing = KeyState::Ended(past);
         r.call = None;
         let player = r.player.take();
         self.waiting -= 1;
@@ -84,26 +84,28 @@
         let Some(r) = self.requests.get(&id) else {
             return;
         };
-        let Standing::Past(past) = r.standing else {
+        let KeyState::Ended(past) = r.standing else {
             return;
         };
         let effect = self
             .settings
             .classes
             .get(usize::from(r.ask.class))
-            .map(|c| c.effect);
-        if past != Past::Moved && keys::reopen(r.standing, effect) == Reopen::Afresh {
+            .map(|c| c.idempotency);
+        if past != RequestOutcome::Migrated
+            && keys::reopen(r.standing, effect) == ReopenDecision::StartNew
+        {
             return self.forget(id);
         }
         // Danger: a timer set for a time long past makes whoever drives the core believe that it stood still. A session
         // that played for longer than its key is kept would set one at its end.
-        let until = r.gives_up.0.saturating_add(self.terms.keep_keys);
-        if self.terms.keys_kept == 0 || until <= self.now.0 {
+        let until = r.gives_up.0.saturating_add(self.terms.key_retention);
+        if self.terms.max_retained_keys == 0 || until <= self.now.0 {
             return self.forget(id);
         }
         self.timers.set(Time(until), Due::Forget(id));
         self.kept.push_back(id);
-        while self.kept.len() > self.terms.keys_kept {
+        while self.kept.len() > self.terms.max_retained_keys {
             if let Some(oldest) = self.kept.pop_front() {
                 self.forget(oldest);
             }
@@ -114,7 +116,7 @@
         if !self
             .requests
             .get(&id)
-            .is_some_and(|r| matches!(r.standing, Standing::Past(_)))
+            .is_some_and(|r| matches!(r.standing, KeyState::Ended(_)))
         {
             return;
         }
@@ -126,13 +128,13 @@
         }
     }
 
-    pub(super) fn stop(&mut self, out: &mut Vec<Effect>) {
+    pub(super) fn stop(&mut self, out: &mut Vec<Output>) {
         self.draining = true;
         for held in self.held.take_all() {
             let advice = self
                 .overload
-                .advice(spread(held.call.player.0 ^ held.call.number));
-            out.push(Effect::Answer(
+                .retry_after(jitter(held.call.player.0 ^ held.call.number));
+            out.push(Output::Answer(
                 held.call,
                 self.not_served(&held.open, advice),
             ));
@@ -144,37 +146,39 @@
             };
             let (player, call, at) = (r.player, r.call, r.out);
             match (r.standing, at) {
-                (Standing::Waiting, Some((attempt, server, _))) => {
-                    out.push(Effect::Abandon(attempt, server));
-                    self.events.push_back(Event::Left(id));
-                    self.attempt_over(attempt, Outcome::Cancelled, true, Report::new());
-                    out.extend(call.map(|c| Effect::Answer(c, Answer::Failed(Failure::Withdrawn))));
-                    self.close_waiting(id, Past::Failed);
+                (KeyState::Waiting, Some((attempt, server, _))) => {
+                    out.push(Output::AbandonAttempt(attempt, server));
+                    self.events.push_back(Event::ClientLeft(id));
+                    self.attempt_over(attempt, AttemptOutcome::Cancelled, true, LoadReport::new());
+                    out.extend(
+                        call.map(|c| Output::Answer(c, Answer::Failed(FailureReason::Cancelled))),
+                    );
+                    self.close_waiting(id, RequestOutcome::Failed);
                 }
-                (Standing::Playing, _) => {
-                    let advice = self.overload.advice(spread(id.0));
+                (KeyState::Playing, _) => {
+                    let advice = self.overload.retry_after(jitter(id.0));
                     self.end_playing(
                         id,
-                        Outcome::Cancelled,
-                        Report::new(),
-                        Past::Played,
+                        AttemptOutcome::Cancelled,
+                        LoadReport::new(),
+                        RequestOutcome::Played,
                         Some(out),
                     );
-                    let over = Notice::Over(OverReason::Stopping, advice);
-                    out.extend(player.map(|p| Effect::Notify(p, id, over)));
+                    let over = Notification::SessionEnded(SessionEndReason::ShuttingDown, advice);
+                    out.extend(player.map(|p| Output::Notify(p, id, over)));
                 }
                 // The module has not decided yet what becomes of it.
-                (Standing::Waiting, None) => {
-                    self.events.push_back(Event::Left(id));
-                    let advice = self.overload.advice(spread(id.0));
+                (KeyState::Waiting, None) => {
+                    self.events.push_back(Event::ClientLeft(id));
+                    let advice = self.overload.retry_after(jitter(id.0));
                     let answer = if r.ran {
-                        Answer::Failed(Failure::Withdrawn)
+                        Answer::Failed(FailureReason::Cancelled)
                     } else {
-                        Answer::Refused(Refusal::Stopping, advice)
+                        Answer::Rejected(RejectReason::ShuttingDown, advice)
                     };
                     self.answer_waiting(id, answer, out);
                 }
-                (Standing::Past(_), _) => {}
+                (KeyState::Ended(_), _) => {}
             }
         }
     }
--- a/crates/front/src/core/check.rs
+++ b/crates/front/src/core/invariants.rs
@@ -1,22 +1,22 @@
 //! What must hold between any two calls.
 use super::Core;
-use crate::keys::Standing;
+use crate::keys::KeyState;
 
 impl Core {
     /// What must hold between any two calls, whatever was heard; says what does not.
     pub fn check(&self) -> Result<(), String> {
         let sound = |holds: bool, what: &str| if holds { Ok(()) } else { Err(what.to_owned()) };
-        let count = |s: Standing| self.requests.values().filter(|r| r.standing == s).count();
+        let count = |s: KeyState| self.requests.values().filter(|r| r.standing == s).count();
         sound(
-            count(Standing::Waiting) == self.waiting,
+            count(KeyState::Waiting) == self.waiting,
             "count of waiting requests",
         )?;
         sound(
-            count(Standing::Playing) == self.playing,
+            count(KeyState::Playing) == self.playing,
             "count of playing sessions",
         )?;
         for (id, r) in &self.requests {
-            let past = matches!(r.standing, Standing::Past(_));
+            let past = matches!(r.standing, KeyState::Ended(_));
             sound(
                 past == r.out.is_none(),
                 &format!(
--- a/crates/front/src/core/mod.rs
+++ b/crates/front/src/core/mod.rs
@@ -1,65 +1,67 @@
 //! The state machine of a front: requests, attempts, players, and what each event amounts to for the module.
 mod attempts;
-mod check;
-mod ends;
+mod completion;
+mod invariants;
 mod players;
-mod returns;
+mod startup_recovery;
 
-use crate::held::Queue;
-use crate::keys::{Past, Standing};
-use crate::messages::{
-    Answer, AttemptId, Call, Effect, Failure, Input, Notice, Open, Order, PlayerId, Refusal, SetUp,
+use crate::io::{
+    Answer, AttemptId, Call, FailureReason, Input, Notification, OpenRequest, Output, PlayerId,
+    RejectReason, SetUpOrder, SetUpResult,
 };
-use crate::overload::{Bounds, Overload};
+use crate::keys::{KeyState, RequestOutcome};
+use crate::overload::{OverloadDetector, OverloadLimits};
+use crate::recovery_queue::Queue;
 use crate::timers::{Due, Timers};
 use crankpaddle::{
-    Action, Ask, Event, Front, Leave, Note, Outcome, Report, RequestId, ServerId, Settings, Time,
+    Action, AttemptOutcome, CrossZonePolicy, Event, LoadReport, PlacementPolicy, RequestId,
+    ServerId, SessionRequest, SessionUpdate, Settings, Time,
 };
-use crankpaddle_recovery::{Careful, Returning, Stage};
+use crankpaddle_recovery::{ConservativeBound, RecoveryStage, StagedRecovery};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// Sees the events that the module gets.
-pub type Tap = Box<dyn FnMut(Time, &Event) + Send>;
+pub type EventObserver = Box<dyn FnMut(Time, &Event) + Send>;
 
 /// What holds for a core beside the module's settings. Times in nanoseconds.
 #[derive(Clone, Debug)]
-pub struct Terms {
+pub struct CoreConfig {
     /// Longest wait of a viewer, for each class.
-    pub give_up: Vec<u64>,
+    pub max_wait: Vec<u64>,
     /// A request is answered so long before its viewer gives up at the latest.
     pub answer_margin: u64,
     /// A lost player may take its sessions up again within this time.
-    pub resume: u64,
+    pub resume_window: u64,
     /// The viewer of a session that a former life of the front had set up may come for it within this time.
-    pub back: u64,
+    pub recovered_resume_window: u64,
     /// Requests without an answer at once, in all.
-    pub open: usize,
+    pub max_pending: usize,
     /// The same for one connection.
-    pub open_per_player: usize,
+    pub max_pending_per_player: usize,
     /// Keys of paid sessions that ended are known for this time at least ...
-    pub keep_keys: u64,
+    pub key_retention: u64,
     /// ... but no more than so many of them.
-    pub keys_kept: usize,
+    pub max_retained_keys: usize,
 }
 
 /// Notes kept of a session that has no answer yet.
 const EARLY_NOTES: usize = 8;
 
 struct Request {
-    ask: Ask,
+    ask: SessionRequest,
     key: String,
     call: Option<Call>, // The one that waits for the answer.
     player: Option<PlayerId>,
     away: u32, // How often its player was lost; a timer of an earlier loss means nothing.
-    standing: Standing,
-    failure: Failure, // Of the last attempt.
-    ran: bool,        // An attempt may have run.
-    kept_back: bool,  // The one that is out has not left.
+    standing: KeyState,
+    failure: FailureReason, // Of the last attempt.
+    ran: bool,              // An attempt may have run.
+    kept_back: bool,        // The one that is out has not left.
     rung: u8,
     attempts: u8,
     out: Option<(AttemptId, ServerId, Time)>, // The attempt that is out, or plays.
-    early: Option<(Outcome, Report)>,         // Its end, heard before its answer.
-    early_notes: Vec<Note>,                   // Likewise.
+    early: Option<(AttemptOutcome, LoadReport)>, // Its end, heard before its answer.
+    early_notes: Vec<SessionUpdate>,          // Likewise.
     gives_up: Time,
 }
 
@@ -70,15 +72,15 @@
 }
 
 impl Request {
-    fn new(ask: Ask, key: String, call: Option<Call>, gives_up: Time) -> Request {
+    fn new(ask: SessionRequest, key: String, call: Option<Call>, gives_up: Time) -> Request {
         Request {
             ask,
             key,
             call,
             player: None,
             away: 0,
-            standing: Standing::Waiting,
-            failure: Failure::NoAnswer,
+            standing: KeyState::Waiting,
+            failure: FailureReason::NoAnswer,
             ran: false,
             kept_back: false,
             rung: 0,
@@ -91,31 +93,31 @@
     }
 }
 
-impl Open {
-    fn ask(&self, request: RequestId, deadline: Time) -> Ask {
-        Ask {
+impl OpenRequest {
+    fn ask(&self, request: RequestId, deadline: Time) -> SessionRequest {
+        SessionRequest {
             request,
             viewer: self.viewer,
             class: self.class,
             tenant: self.tenant,
             title: self.title,
             first_cell: self.first_cell,
-            copies: self.copies,
-            top: self.top,
+            cell_count: self.cell_count,
+            max_rung: self.max_rung,
             deadline,
-            hint: self.hint,
-            again: self.again,
-            moved: self.moved,
+            duration_hint: self.duration_hint,
+            is_retry: self.is_retry,
+            is_migration: self.is_migration,
         }
     }
 }
 
 /// A front's state. See the crate's page for how it is driven.
 pub struct Core {
-    front: Front,
+    front: PlacementPolicy,
     settings: Settings,
-    terms: Terms,
-    overload: Overload,
+    terms: CoreConfig,
+    overload: OverloadDetector,
     requests: BTreeMap<RequestId, Request>,
     keys: HashMap<(u16, String), RequestId>,
     attempts: HashMap<AttemptId, RequestId>,
@@ -127,17 +129,17 @@
     last_request: u64,
     last_attempt: u64,
     draining: bool,
-    siblings: u32,       // Reckoned with now.
-    members: u32,        // Of the fleet, as peers say.
-    fleet: Careful<u32>, // As was kept.
-    returning: Returning,
+    siblings: u32,                 // Reckoned with now.
+    members: u32,                  // Of the fleet, as peers say.
+    fleet: ConservativeBound<u32>, // As was kept.
+    returning: StagedRecovery,
     steps_told: usize,
     sound: bool,                        // All paid set-ups that may have left were kept.
     unsettled: BTreeSet<(u16, String)>, // Paid keys of former lives that may have run.
     held: Queue,
     now: Time,                        // Of the call under way.
     held_at_home: BTreeSet<(u8, u8)>, // Zones and classes that may not go there.
-    tap: Option<Tap>,
+    tap: Option<EventObserver>,
     events: VecDeque<Event>, // For the module, in order.
     actions: Vec<Action>,
     opened: Vec<RequestId>, // Heard and not decided yet.
@@ -145,22 +147,22 @@
 
 impl Core {
     /// A core that has heard nothing. `seed` feeds the module's random choices.
-    pub fn new(settings: Settings, terms: Terms, seed: u64, now: Time) -> Core {
+    pub fn new(settings: Settings, terms: CoreConfig, seed: u64, now: Time) -> Core {
         let aim = settings
             .classes
             .iter()
-            .map(|c| c.aim)
+            .map(|c| c.latency_objective)
             .min()
             .unwrap_or(1_000_000_000);
-        let bounds = Bounds {
-            open: terms.open,
-            open_per_player: terms.open_per_player,
-            aim,
-            stay_away: settings.stay_away_cap,
+        let bounds = OverloadLimits {
+            max_pending: terms.max_pending,
+            max_pending_per_player: terms.max_pending_per_player,
+            latency_objective: aim,
+            max_retry_after: settings.max_retry_after,
         };
         Core {
-            front: Front::new(settings.clone(), seed, now),
-            overload: Overload::new(bounds),
+            front: PlacementPolicy::new(settings.clone(), seed, now),
+            overload: OverloadDetector::new(bounds),
             terms,
             requests: BTreeMap::new(),
             keys: HashMap::new(),
@@ -173,10 +175,10 @@
             last_request: 0,
             last_attempt: 0,
             draining: false,
-            siblings: settings.siblings,
+            siblings: settings.replica_count,
             members: 0,
-            fleet: Careful::default(),
-            returning: Returning::none(now.0),
+            fleet: ConservativeBound::default(),
+            returning: StagedRecovery::not_needed(now.0),
             steps_told: 0,
             sound: true,
             unsettled: BTreeSet::new(),
@@ -192,7 +194,7 @@
     }
 
     /// Shows each event to `tap` before the module gets it: for tests that compare what drives it.
-    pub fn set_tap(&mut self, tap: Tap) {
+    pub fn set_event_observer(&mut self, tap: EventObserver) {
         self.tap = Some(tap);
     }
 
@@ -223,7 +225,7 @@
 
     /// Lets fall due what is due at `now`. Danger: after a stall, answers that came in time still lie unread; read
     /// and handle them first, and only then call this.
-    pub fn expire(&mut self, now: Time, out: &mut Vec<Effect>) {
+    pub fn expire(&mut self, now: Time, out: &mut Vec<Output>) {
         self.decide(now, out);
         while let Some(due) = self.timers.pop(now) {
             match due {
@@ -239,9 +241,9 @@
         }
     }
 
-    /// Takes what was heard at `now` and adds what is to be done for it to `out`: [`Core::hear`], then [`Core::decide`].
-    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Effect>) {
-        self.hear(now, input, out);
+    /// Takes what was heard at `now` and adds what is to be done for it to `out`: [`Core::handle_input`], then [`Core::decide`].
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        self.handle_input(now, input, out);
         self.decide(now, out);
     }
 
@@ -253,7 +255,7 @@
     /// reaches a viewer who has just gone; on a small share of a core some tens of microseconds are half a millisecond.
     /// Also covered: ends that overtake answers. Harm: the module hears of the others of a batch late by what the batch
     /// takes to be heard.
-    pub fn hear(&mut self, now: Time, input: Input, out: &mut Vec<Effect>) {
+    pub fn handle_input(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
         self.now = now;
         match input {
             Input::Open {
@@ -269,52 +271,63 @@
                 server,
             } => self.adopt(now, player, open, server, out),
             Input::Leave(player) => self.leave(player, out),
-            Input::PlayerGone(player) => self.player_gone(now, player),
-            Input::Roster(kind, entries) => self.events.push_back(Event::Roster(kind, entries)),
-            Input::SetUp(attempt, SetUp::Started(report)) => {
+            Input::PlayerDisconnected(player) => self.player_gone(now, player),
+            Input::EndpointList(kind, entries) => {
+                self.events.push_back(Event::EndpointList(kind, entries));
+            }
+            Input::SetUpCompleted(attempt, SetUpResult::Started(report)) => {
                 self.started(now, attempt, report, out);
             }
-            Input::SetUp(attempt, SetUp::Ended(outcome, report)) => {
+            Input::SetUpCompleted(attempt, SetUpResult::Ended(outcome, report)) => {
                 self.attempt_ended(attempt, outcome, report);
             }
-            Input::KeptBack(attempt, kept_back) => self.kept_back(attempt, kept_back),
-            Input::Note(attempt, note) => self.note(attempt, note),
-            Input::Over(attempt, outcome, report) => self.over(attempt, outcome, report, out),
-            Input::Crossing { zone, class, leave } => {
+            Input::SendDeferred(attempt, kept_back) => self.kept_back(attempt, kept_back),
+            Input::SessionUpdated(attempt, note) => self.note(attempt, note),
+            Input::SessionEnded(attempt, outcome, report) => {
+                self.over(attempt, outcome, report, out);
+            }
+            Input::CrossZonePolicyChanged { zone, class, leave } => {
                 let _ = match leave {
-                    Leave::Never => self.held_at_home.insert((zone, class)),
-                    Leave::Free | Leave::Last => self.held_at_home.remove(&(zone, class)),
+                    CrossZonePolicy::Forbidden => self.held_at_home.insert((zone, class)),
+                    CrossZonePolicy::Allowed | CrossZonePolicy::LastResort => {
+                        self.held_at_home.remove(&(zone, class))
+                    }
                 };
-                self.events
-                    .push_back(Event::Crossing { zone, class, leave });
+                self.events.push_back(Event::CrossZonePolicyChanged {
+                    zone,
+                    class,
+                    policy: leave,
+                });
             }
-            Input::Lowered(attempt, lowered) => self.lowered(attempt, lowered),
-            Input::Probed(server, outcome, report) => self.events.push_back(Event::Probed {
-                server,
-                outcome,
-                report,
-            }),
-            Input::Members(known) => {
+            Input::RateCapped(attempt, lowered) => self.lowered(attempt, lowered),
+            Input::HealthCheckCompleted(server, outcome, report) => {
+                self.events.push_back(Event::HealthCheckCompleted {
+                    server,
+                    outcome,
+                    report,
+                });
+            }
+            Input::FleetSizeChanged(known) => {
                 self.members = known;
                 self.reckon();
             }
-            Input::ServersKnown => {
-                self.returning.listed(now.0);
+            Input::EndpointsKnown => {
+                self.returning.endpoints_known(now.0);
                 self.step(now, out);
             }
-            Input::Settled => {
-                self.returning.settled(now.0);
+            Input::ReconciliationCompleted => {
+                self.returning.reconciliation_completed(now.0);
                 self.step(now, out);
             }
-            Input::Serve => self.serve(now, out),
-            Input::Unsettled { tenant, key } => self.unsettled(tenant, key),
-            Input::Recovered {
+            Input::ServiceResumed => self.serve(now, out),
+            Input::KeyUnresolved { tenant, key } => self.unsettled(tenant, key),
+            Input::KeyResolved {
                 tenant,
                 key,
                 class,
                 past,
             } => self.recovered(tenant, key, class, past),
-            Input::Found {
+            Input::SessionFound {
                 token,
                 open,
                 server,
@@ -327,7 +340,7 @@
     // ---- the decision module ----
 
     /// Lets the module decide on all that was heard, in its order, and adds what is to be done for it to `out`.
-    pub fn decide(&mut self, now: Time, out: &mut Vec<Effect>) {
+    pub fn decide(&mut self, now: Time, out: &mut Vec<Output>) {
         self.now = now;
         self.run_module(now, out);
         for id in std::mem::take(&mut self.opened) {
@@ -337,7 +350,7 @@
     }
 
     /// Gives the module what waits for it and carries its actions out, until nothing is left of either.
-    fn run_module(&mut self, now: Time, out: &mut Vec<Effect>) {
+    fn run_module(&mut self, now: Time, out: &mut Vec<Output>) {
         while let Some(event) = self.events.pop_front() {
             if let Some(tap) = &mut self.tap {
                 tap(now, &event);
@@ -351,48 +364,53 @@
         }
     }
 
-    fn act(&mut self, now: Time, action: Action, out: &mut Vec<Effect>) {
+    fn act(&mut self, now: Time, action: Action, out: &mut Vec<Output>) {
         match action {
-            Action::Attempt {
+            Action::StartAttempt {
                 request,
                 server,
                 timeout,
             } => self.attempt(now, request, server, timeout, out),
-            Action::Rung { request, rung } => {
+            Action::SetRung { request, rung } => {
                 let Some(r) = self.requests.get_mut(&request) else {
                     return;
                 };
                 r.rung = rung;
-                if let (Standing::Playing, Some((attempt, server, _))) = (r.standing, r.out) {
-                    out.push(Effect::SetRung(attempt, server, rung));
+                if let (KeyState::Playing, Some((attempt, server, _))) = (r.standing, r.out) {
+                    out.push(Output::SetRung(attempt, server, rung));
                     out.extend(
                         r.player
-                            .map(|p| Effect::Notify(p, request, Notice::Rung(rung))),
+                            .map(|p| Output::Notify(p, request, Notification::RungChanged(rung))),
                     );
                 }
             }
-            Action::Reject { request, stay_away } => {
+            Action::Reject {
+                request,
+                retry_after: stay_away,
+            } => {
                 let class = self.requests.get(&request).map(|r| r.ask.class);
-                if self.stage() == Stage::Paid && class.is_some_and(|class| self.is_paid(class)) {
-                    self.returning.turned_away(now.0, stay_away);
+                if self.stage() == RecoveryStage::PaidOnly
+                    && class.is_some_and(|class| self.is_paid(class))
+                {
+                    self.returning.paid_rejected(now.0, stay_away);
                 }
                 let held =
                     class.is_some_and(|class| self.held_at_home.iter().any(|(_, c)| *c == class));
                 let why = if held {
-                    Refusal::HeldAtHome
+                    RejectReason::CrossZoneForbidden
                 } else {
-                    Refusal::NoRoom
+                    RejectReason::NoCapacity
                 };
-                self.answer_waiting(request, Answer::Refused(why, stay_away), out);
+                self.answer_waiting(request, Answer::Rejected(why, stay_away), out);
             }
             Action::Fail(request) => {
                 let failure = self
                     .requests
                     .get(&request)
-                    .map_or(Failure::NoAnswer, |r| r.failure);
+                    .map_or(FailureReason::NoAnswer, |r| r.failure);
                 self.answer_waiting(request, Answer::Failed(failure), out);
             }
-            Action::Cancel { request, attempt } => {
+            Action::CancelAttempt { request, attempt } => {
                 let Some(r) = self
                     .requests
                     .get(&request)
@@ -400,44 +418,44 @@
                 else {
                     return;
                 };
-                if let (Standing::Waiting, Some((id, server, _))) = (r.standing, r.out) {
-                    out.push(Effect::Abandon(id, server));
-                    self.attempt_ended(id, Outcome::Cancelled, Report::new());
+                if let (KeyState::Waiting, Some((id, server, _))) = (r.standing, r.out) {
+                    out.push(Output::AbandonAttempt(id, server));
+                    self.attempt_ended(id, AttemptOutcome::Cancelled, LoadReport::new());
                 }
             }
-            Action::Move(request) => {
+            Action::MigrateSession(request) => {
                 let player = self.requests.get(&request).and_then(|r| r.player);
                 if self.end_playing(
                     request,
-                    Outcome::Cancelled,
-                    Report::new(),
-                    Past::Moved,
+                    AttemptOutcome::Cancelled,
+                    LoadReport::new(),
+                    RequestOutcome::Migrated,
                     Some(out),
                 ) {
-                    out.extend(player.map(|p| Effect::Notify(p, request, Notice::Move)));
+                    out.extend(player.map(|p| Output::Notify(p, request, Notification::Migrate)));
                 }
             }
-            Action::Wake { at, token } => self.timers.set(at, Due::Wake(token)),
-            Action::Probe(server) => out.push(Effect::Probe(server)),
-            Action::Subscribe => out.push(Effect::Subscribe),
-            Action::FetchRoster => out.push(Effect::FetchRoster),
-            Action::Tell(_) => {} // Fronts never talk to each other.
-            Action::Log(line) => out.push(Effect::Log(line)),
+            Action::SetTimer { at, token } => self.timers.set(at, Due::Wake(token)),
+            Action::HealthCheck(server) => out.push(Output::HealthCheck(server)),
+            Action::SubscribeEndpoints => out.push(Output::SubscribeEndpoints),
+            Action::FetchEndpoints => out.push(Output::FetchEndpoints),
+            Action::Broadcast(_) => {} // Fronts never talk to each other.
+            Action::Log(line) => out.push(Output::Log(line)),
         }
     }
 
     /// Whether an attempt that is out and was not written yet may still be: asked right before, since its connection may have
     /// taken long to come about. Call after [`Core::decide`], so that all that was heard counts.
-    pub fn may_leave(&self, now: Time, attempt: AttemptId) -> bool {
+    pub fn may_send(&self, now: Time, attempt: AttemptId) -> bool {
         let request = self
             .attempts
             .get(&attempt)
             .and_then(|id| Some((*id, self.requests.get(id)?)));
         request.is_some_and(|(id, r)| {
             let out = r.out.is_some_and(|(out, _, _)| out == attempt);
-            out && r.standing == Standing::Waiting
+            out && r.standing == KeyState::Waiting
                 && now < r.gives_up
-                && self.front.may_leave(now, id)
+                && self.front.may_send(now, id)
         })
     }
 
@@ -447,7 +465,7 @@
         id: RequestId,
         server: ServerId,
         timeout: u64,
-        out: &mut Vec<Effect>,
+        out: &mut Vec<Output>,
     ) {
         let (settings, requests) = (&self.settings, &mut self.requests);
         // The last guard before the wire, whatever was decided: one attempt out at a time, none for an answered
@@ -456,23 +474,24 @@
             let effect = settings
                 .classes
                 .get(usize::from(r.ask.class))
-                .map(|c| c.effect);
-            let twice = r.ran && effect == Some(crankpaddle::Effect::SingleShot);
-            r.standing == Standing::Waiting && r.out.is_none() && !twice && now < r.ask.deadline
+                .map(|c| c.idempotency);
+            let twice = r.ran && effect == Some(crankpaddle::Idempotency::AtMostOnce);
+            r.standing == KeyState::Waiting && r.out.is_none() && !twice && now < r.ask.deadline
         };
         let known = requests.get(&id);
         let (number, closed) =
-            known.map_or((0, true), |r| (r.attempts, r.standing != Standing::Waiting));
+            known.map_or((0, true), |r| (r.attempts, r.standing != KeyState::Waiting));
         let Some(r) = requests.get_mut(&id).filter(|r| may(r)) else {
             // Also where its viewer left between what was heard and what is decided on it: the module must not go on
             // counting a set-up that never went out.
-            let (request, attempt, outcome, report) = (id, number, Outcome::Moot, Report::new());
-            self.events.push_back(Event::Ended {
+            let (request, attempt, outcome, report) =
+                (id, number, AttemptOutcome::NotSent, LoadReport::new());
+            self.events.push_back(Event::AttemptEnded {
                 request,
                 attempt,
                 server,
                 outcome,
-                closed,
+                is_final: closed,
                 report,
             });
             return;
@@ -488,7 +507,7 @@
         }
         self.attempts.insert(attempt, id);
         let key = r.key.clone();
-        let order = Order {
+        let order = SetUpOrder {
             key,
             class: r.ask.class,
             tenant: r.ask.tenant,
@@ -501,7 +520,7 @@
             u64::MAX
         };
         let until = Time(r.ask.deadline.0.min(allowed));
-        out.push(Effect::SetUp {
+        out.push(Output::StartSetUp {
             attempt,
             request: id,
             number,
@@ -514,7 +533,7 @@
 
 /// A number in 0..1 that follows from `n` (splitmix64): it spreads advice among those who get it together, and is the
 /// dice of stand-ins that must fall alike in each run.
-pub fn spread(n: u64) -> f64 {
+pub fn jitter(n: u64) -> f64 {
     let mut z = n.wrapping_add(0x9e37_79b9_7f4a_7c15);
     z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/io.rs
@@ -1,7 +1,10 @@
 //! What goes into a core and what comes out of it. No choice is made in this file.
-use crate::keys::Past;
-use crankpaddle::{Leave, Listing, Note, Outcome, Report, RequestId, RosterKind, ServerId, Time};
-use crankpaddle_recovery::{Evidence, Stage};
+use crate::keys::RequestOutcome;
+use crankpaddle::{
+    AttemptOutcome, CrossZonePolicy, Endpoint, EndpointListKind, LoadReport, RequestId, ServerId,
+    SessionUpdate, Time,
+};
+use crankpaddle_recovery::{RecoveryStage, StageEvidence};
 
 /// A player's connection, by whichever protocol it came; where sessions outlive connections, the session's own player.
 /// Never used twice.
@@ -23,7 +26,7 @@
 
 /// A player's request for a session, its names already looked up.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Open {
+pub struct OpenRequest {
     /// Chosen by the player, the same over its reconnects: it stands for one session.
     pub key: String,
     /// Who watches; the same when he comes again for another session.
@@ -37,26 +40,26 @@
     /// First cell that holds the title.
     pub first_cell: u32,
     /// Cells in a row that hold it.
-    pub copies: u32,
+    pub cell_count: u32,
     /// Highest rung that the player can use.
-    pub top: u8,
+    pub max_rung: u8,
     /// How long the viewer waits, nanoseconds from now; cut to the class's own bound.
-    pub give_up: u64,
+    pub max_wait: u64,
     /// A guess of how long it is watched, nanoseconds.
-    pub hint: Option<u64>,
+    pub duration_hint: Option<u64>,
     /// Whether the player says that it comes again.
-    pub again: bool,
+    pub is_retry: bool,
     /// Whether the player says that it comes back from a move.
-    pub moved: bool,
+    pub is_migration: bool,
 }
 
 /// How a set-up came out.
 #[derive(Clone, Debug, PartialEq)]
-pub enum SetUp {
+pub enum SetUpResult {
     /// The session plays; the report that came with the answer, empty if none did.
-    Started(Report),
+    Started(LoadReport),
     /// It did not come to play.
-    Ended(Outcome, Report),
+    Ended(AttemptOutcome, LoadReport),
 }
 
 /// What a core hears.
@@ -67,7 +70,7 @@
         /// The call to answer.
         call: Call,
         /// What it asks for.
-        open: Open,
+        open: OpenRequest,
         /// When the message was read.
         received: Time,
     },
@@ -88,60 +91,60 @@
         session: RequestId,
     },
     /// A session that was under way before this front started plays at a server; nobody waits for an answer. Answered
-    /// by [`Effect::Holds`] unless its key is held already.
+    /// by [`Output::SessionAdopted`] unless its key is held already.
     Adopt {
         /// Whose it is.
         player: PlayerId,
         /// What was asked for.
-        open: Open,
+        open: OpenRequest,
         /// Where it plays.
         server: ServerId,
     },
     /// A player gives up what it waits for and ends what plays for it, at once and without an answer.
     Leave(PlayerId),
     /// A player's connection is gone.
-    PlayerGone(PlayerId),
+    PlayerDisconnected(PlayerId),
     /// A list of servers.
-    Roster(RosterKind, Vec<Listing>),
+    EndpointList(EndpointListKind, Vec<Endpoint>),
     /// A set-up came out.
-    SetUp(AttemptId, SetUp),
+    SetUpCompleted(AttemptId, SetUpResult),
     /// An attempt waits for something of the front's own, and has not left (`true`); or it leaves now. It leaves at once where this is
     /// not told.
-    KeptBack(AttemptId, bool),
+    SendDeferred(AttemptId, bool),
     /// A note on a playing session.
-    Note(AttemptId, Note),
+    SessionUpdated(AttemptId, SessionUpdate),
     /// A playing session ended at its server: `Ok` when it ran to its end, `Reset` when the server was lost.
-    Over(AttemptId, Outcome, Report),
+    SessionEnded(AttemptId, AttemptOutcome, LoadReport),
     /// From now on a class may be served from a zone like this.
-    Crossing {
+    CrossZonePolicyChanged {
         /// The zone of the servers.
         zone: u8,
         /// The class.
         class: u8,
         /// How.
-        leave: Leave,
+        leave: CrossZonePolicy,
     },
     /// A playing session is to go down to its lowest rung, or (`false`) may rise as high as its viewer can use.
-    Lowered(AttemptId, bool),
+    RateCapped(AttemptId, bool),
     /// A probe came out.
-    Probed(ServerId, Outcome, Report),
+    HealthCheckCompleted(ServerId, AttemptOutcome, LoadReport),
     /// So many fronts of the fleet are known, this one with them; those that may only be out of reach count too.
-    Members(u32),
+    FleetSizeChanged(u32),
     /// Servers are listed, so that they can be asked what a former life had begun.
-    ServersKnown,
+    EndpointsKnown,
     /// Each of them told, or can't be reached.
-    Settled,
-    /// After [`Effect::Stage`] told that service goes on: all that was found was told, so who was held can be served.
-    Serve,
+    ReconciliationCompleted,
+    /// After [`Output::StageReached`] told that service goes on: all that was found was told, so who was held can be served.
+    ServiceResumed,
     /// A paid set-up of a former life may have run under this key.
-    Unsettled {
+    KeyUnresolved {
         /// Its tenant.
         tenant: u16,
         /// Its key.
         key: String,
     },
     /// What became of a paid key of a former life.
-    Recovered {
+    KeyResolved {
         /// Its tenant.
         tenant: u16,
         /// Its key.
@@ -149,14 +152,14 @@
         /// Its class.
         class: u8,
         /// What it came to; `None`: it never ran.
-        past: Option<Past>,
+        past: Option<RequestOutcome>,
     },
-    /// A server holds a session that a former life set up. Answered by [`Effect::Found`].
-    Found {
+    /// A server holds a session that a former life set up. Answered by [`Output::FoundSessionHandled`].
+    SessionFound {
         /// Names it in the answer.
         token: u64,
         /// What was asked for.
-        open: Open,
+        open: OpenRequest,
         /// Where it plays.
         server: ServerId,
     },
@@ -168,32 +171,32 @@
 
 /// Why a request was refused: nothing of it ran, it may be sent again anywhere.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Refusal {
+pub enum RejectReason {
     /// No server that holds the title has room or may be used now.
-    NoRoom,
+    NoCapacity,
     /// Its own zone has no room, and its class may not leave for another now.
-    HeldAtHome,
+    CrossZoneForbidden,
     /// The front itself has more to do than it can answer in time.
     Overload,
     /// Too many requests wait for an answer, in all or of this player.
-    TooManyOpen,
+    TooManyPending,
     /// The front is stopping.
-    Stopping,
+    ShuttingDown,
     /// Service returns after a power loss, and others come first.
-    Returning,
+    Recovering,
 }
 
 /// Why a request failed: an attempt may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Failure {
+pub enum FailureReason {
     /// A server was asked and did not answer in time.
     NoAnswer,
     /// A server answered with an error.
     ServerError,
     /// The connection to a server broke while an attempt was out.
-    Broken,
+    ConnectionLost,
     /// The attempt was withdrawn, for instance because its player left.
-    Withdrawn,
+    Cancelled,
     /// The key stands for a paid session that played and is over; a new session wants a new key.
     KeySpent,
 }
@@ -202,7 +205,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
     /// The session plays.
-    Plays {
+    Established {
         /// The session.
         session: RequestId,
         /// Its attempt, which names it at the server.
@@ -213,44 +216,44 @@
         rung: u8,
     },
     /// Refused; come back after so many nanoseconds (0: no advice).
-    Refused(Refusal, u64),
+    Rejected(RejectReason, u64),
     /// Failed, perhaps with effect.
-    Failed(Failure),
+    Failed(FailureReason),
     /// Another connection took the session up with its key and has the answer, or will.
     Superseded,
     /// The session was closed as asked.
     Closed,
     /// No such session, or not this player's.
-    Unknown,
+    UnknownSession,
 }
 
 /// What a player is told without having asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Notice {
+pub enum Notification {
     /// The rung of its session changes.
-    Rung(u8),
+    RungChanged(u8),
     /// Its session is over; come back after so many nanoseconds (0: no advice).
-    Over(OverReason, u64),
+    SessionEnded(SessionEndReason, u64),
     /// Its session moves: open it again with the same key.
-    Move,
+    Migrate,
 }
 
 /// Why a session is over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OverReason {
+pub enum SessionEndReason {
     /// It ran to its end.
     Finished,
     /// Its server was lost.
     ServerLost,
     /// Another connection took it up.
-    TakenOver,
+    Superseded,
     /// The front stops.
-    Stopping,
+    ShuttingDown,
 }
 
 /// What a server is asked to set up.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Order {
+pub struct SetUpOrder {
     /// The key that the player chose for the session.
     pub key: String,
     /// Class, an index into the settings' classes.
@@ -265,13 +268,13 @@
 
 /// What is to be done, in order.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Effect {
+pub enum Output {
     /// Answer a call; its only answer.
     Answer(Call, Answer),
     /// Tell a player.
-    Notify(PlayerId, RequestId, Notice),
-    /// Send one attempt to a server. It must be answered by [`Input::SetUp`] unless it is abandoned first.
-    SetUp {
+    Notify(PlayerId, RequestId, Notification),
+    /// Send one attempt to a server. It must be answered by [`Input::SetUpCompleted`] unless it is abandoned first.
+    StartSetUp {
         /// The attempt.
         attempt: AttemptId,
         /// Its request.
@@ -281,12 +284,12 @@
         /// The server.
         server: ServerId,
         /// What to set up.
-        order: Order,
+        order: SetUpOrder,
         /// When the attempt will be given up.
         until: Time,
     },
     /// A session that was adopted is held as this attempt from now on.
-    Holds {
+    SessionAdopted {
         /// Whose it is.
         player: PlayerId,
         /// Its attempt.
@@ -295,7 +298,7 @@
         server: ServerId,
     },
     /// A session that a server held is held as this attempt from now on; `None`: its key is another's, and it is to be ended.
-    Found {
+    FoundSessionHandled {
         /// As it was asked with.
         token: u64,
         /// Its attempt.
@@ -304,19 +307,19 @@
         server: ServerId,
     },
     /// Service took a step on its way back.
-    Stage(Stage, Evidence),
+    StageReached(RecoveryStage, StageEvidence),
     /// Stop waiting for an attempt and see that the server drops what it may have set up.
-    Abandon(AttemptId, ServerId),
+    AbandonAttempt(AttemptId, ServerId),
     /// Set the rung of a playing session.
     SetRung(AttemptId, ServerId, u8),
     /// End a playing session at its server.
     TearDown(AttemptId, ServerId),
-    /// Probe a server; answered by [`Input::Probed`].
-    Probe(ServerId),
+    /// Probe a server; answered by [`Input::HealthCheckCompleted`].
+    HealthCheck(ServerId),
     /// Subscribe to changes of the list of servers.
-    Subscribe,
+    SubscribeEndpoints,
     /// Ask for the whole list once.
-    FetchRoster,
+    FetchEndpoints,
     /// A line of the decision module for the log.
     Log(String),
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -1,7 +1,7 @@
 //! A session front without I/O: what players and servers say goes in with the time, what is to be done comes out.
 //!
 //! [`Core`] owes each request exactly one answer before its viewer gives up. It hosts the decision module
-//! ([`crankpaddle::Front`]), which chooses servers and rungs; the core keeps what the module does not treat: give-up
+//! ([`crankpaddle::PlacementPolicy`]), which chooses servers and rungs; the core keeps what the module does not treat: give-up
 //! clocks, attempts and their time-outs, players that are lost and come back, keys that stand for one session, the
 //! front's own overload and its end. No protocol is known here: WebSocket, RTMP and the laboratory drive the same
 //! core.
@@ -9,7 +9,7 @@
 //! Driving it, as one drives any state machine without I/O:
 //!
 //! - call [`Core::handle`] for each [`Input`] and [`Core::expire`] when [`Core::next_expiry`] has come;
-//! - carry out the [`Effect`]s that each call adds, in order;
+//! - carry out the [`Output`]s that each call adds, in order;
 //! - time is [`Time`], nanoseconds of a clock that never goes back; the same inputs give the same effects.
 //!
 //! Where a decision stands: [`overload`] (when the front itself refuses), [`keys`] (what a known key means),
@@ -18,16 +18,18 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 mod core;
-mod held;
+mod io;
 pub mod keys;
-mod messages;
 pub mod overload;
+mod recovery_queue;
 mod timers;
 
-pub use crate::core::{spread, Core, Tap, Terms};
+pub use crate::core::{jitter, Core, CoreConfig, EventObserver};
 pub use crankpaddle::{
-    Event, Leave, Listing, Note, Outcome, Phase, Report, RequestId, RosterKind, ServerId, Settings,
-    Time,
+    AttemptOutcome, CrossZonePolicy, Endpoint, EndpointListKind, Event, Lifecycle, LoadReport,
+    RequestId, ServerId, SessionUpdate, Settings, Time,
 };
-pub use crankpaddle_recovery::{Careful, Ended, Evidence, Returning, Stage};
-pub use messages::*;
+pub use crankpaddle_recovery::{
+    ConservativeBound, PreviousShutdown, RecoveryStage, StageEvidence, StagedRecovery,
+};
+pub use io::*;
--- a/crates/front/src/overload.rs
+++ b/crates/front/src/overload.rs
@@ -18,41 +18,41 @@
 
 /// What the settings allow.
 #[derive(Clone, Copy, Debug)]
-pub struct Bounds {
+pub struct OverloadLimits {
     /// Requests without an answer at once.
-    pub open: usize,
+    pub max_pending: usize,
     /// The same for one player's connection.
-    pub open_per_player: usize,
+    pub max_pending_per_player: usize,
     /// Shortest aim of a class, nanoseconds.
-    pub aim: u64,
+    pub latency_objective: u64,
     /// Longest advice to stay away that players follow, nanoseconds.
-    pub stay_away: u64,
+    pub max_retry_after: u64,
 }
 
 /// Why the front refuses by itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
+pub enum AdmissionDecision {
     /// Take it.
-    Take,
+    Admit,
     /// Too many wait.
-    TooManyOpen,
+    TooManyPending,
     /// The front falls behind.
-    Behind,
+    Overloaded,
 }
 
 /// Watches how far the front is behind.
 #[derive(Clone, Debug)]
-pub struct Overload {
-    bounds: Bounds,
+pub struct OverloadDetector {
+    bounds: OverloadLimits,
     least: u64,
     ends: Time,
     over: u64, // Intervals in a row that were over the target.
 }
 
-impl Overload {
+impl OverloadDetector {
     /// Nothing seen yet.
-    pub fn new(bounds: Bounds) -> Overload {
-        Overload {
+    pub fn new(bounds: OverloadLimits) -> OverloadDetector {
+        OverloadDetector {
             bounds,
             least: u64::MAX,
             ends: Time(0),
@@ -61,11 +61,17 @@
     }
 
     fn target(&self) -> u64 {
-        (self.bounds.aim / TARGET_PART).max(1)
+        (self.bounds.latency_objective / TARGET_PART).max(1)
     }
 
     /// Judges a request that was read at `received`, with `open` waiting in all and `player` of its own connection.
-    pub fn judge(&mut self, now: Time, received: Time, open: usize, player: usize) -> Verdict {
+    pub fn admit(
+        &mut self,
+        now: Time,
+        received: Time,
+        open: usize,
+        player: usize,
+    ) -> AdmissionDecision {
         let waited = now.0.saturating_sub(received.0);
         self.least = self.least.min(waited);
         if waited <= self.target() {
@@ -82,18 +88,18 @@
         if now >= self.ends {
             (self.least, self.ends) = (waited, Time(now.0.saturating_add(INTERVAL)));
         }
-        if open >= self.bounds.open || player >= self.bounds.open_per_player {
-            Verdict::TooManyOpen
+        if open >= self.bounds.max_pending || player >= self.bounds.max_pending_per_player {
+            AdmissionDecision::TooManyPending
         } else if self.over > 0 {
-            Verdict::Behind
+            AdmissionDecision::Overloaded
         } else {
-            Verdict::Take
+            AdmissionDecision::Admit
         }
     }
 
     /// When a refused player should come back, nanoseconds; `dice` in 0..1 spreads those refused together.
-    pub fn advice(&self, dice: f64) -> u64 {
-        let cap = self.bounds.stay_away as f64;
+    pub fn retry_after(&self, dice: f64) -> u64 {
+        let cap = self.bounds.max_retry_after as f64;
         let span = (cap * (1 + self.over).min(ADVICE_PART) as f64 / ADVICE_PART as f64).min(cap);
         (span * (0.5 + 0.5 * dice.clamp(0.0, 1.0))) as u64
     }
@@ -104,24 +110,24 @@
     use super::*;
     const MS: u64 = 1_000_000;
 
-    fn overload() -> Overload {
-        Overload::new(Bounds {
-            open: 10,
-            open_per_player: 3,
-            aim: 800 * MS,
-            stay_away: SECOND,
+    fn overload() -> OverloadDetector {
+        OverloadDetector::new(OverloadLimits {
+            max_pending: 10,
+            max_pending_per_player: 3,
+            latency_objective: 800 * MS,
+            max_retry_after: SECOND,
         })
     }
 
     /// Feeds a message a millisecond with the given wait; says how many were taken.
-    fn feed(o: &mut Overload, from: u64, count: u64, wait: u64) -> usize {
+    fn feed(o: &mut OverloadDetector, from: u64, count: u64, wait: u64) -> usize {
         let verdict = |i: u64| {
-            o.judge(
+            o.admit(
                 Time(from + i * MS),
                 Time((from + i * MS).saturating_sub(wait)),
                 0,
                 0,
-            ) == Verdict::Take
+            ) == AdmissionDecision::Admit
         };
         (0..count).map(verdict).filter(|t| *t).count()
     }
@@ -151,17 +157,21 @@
     fn counts_are_bounded_in_all_and_for_each_player() {
         let mut o = overload();
         let t = Time(SECOND);
-        assert_eq!(o.judge(t, t, 9, 2), Verdict::Take);
-        assert_eq!(o.judge(t, t, 10, 0), Verdict::TooManyOpen);
-        assert_eq!(o.judge(t, t, 0, 3), Verdict::TooManyOpen);
+        assert_eq!(o.admit(t, t, 9, 2), AdmissionDecision::Admit);
+        assert_eq!(o.admit(t, t, 10, 0), AdmissionDecision::TooManyPending);
+        assert_eq!(o.admit(t, t, 0, 3), AdmissionDecision::TooManyPending);
     }
 
     #[test]
     fn advice_is_spread_grows_and_stays_under_what_players_follow() {
         let mut o = overload();
-        let calm = o.advice(1.0);
-        assert!(o.advice(0.0) < calm);
+        let calm = o.retry_after(1.0);
+        assert!(o.retry_after(0.0) < calm);
         feed(&mut o, SECOND, 2000, 60 * MS);
-        assert!(o.advice(1.0) > calm && o.advice(1.0) <= SECOND && o.advice(7.0) <= SECOND);
+        assert!(
+            o.retry_after(1.0) > calm
+                && o.retry_after(1.0) <= SECOND
+                && o.retry_after(7.0) <= SECOND
+        );
     }
 }
--- a/crates/front/src/held.rs
+++ b/crates/front/src/recovery_queue.rs
@@ -1,5 +1,5 @@
 //! Requests that wait, before anything is decided on them, until it is known what a former life had begun.
-use crate::messages::{Call, Open, PlayerId};
+use crate::io::{Call, OpenRequest, PlayerId};
 use crankpaddle::Time;
 use std::collections::VecDeque;
 
@@ -7,7 +7,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Held {
     pub call: Call,
-    pub open: Open,
+    pub open: OpenRequest,
     pub received: Time,
     /// When it must be answered.
     pub deadline: Time,
--- a/crates/membership/src/check.rs
+++ b/crates/membership/src/check.rs
@@ -1,8 +1,8 @@
 //! Model checking: three members, what they tell each other delivered in any order, late, twice or never, accusations out of
 //! nothing, a restart, an orderly leave. The members are the real state machine; only time stands still.
 #[cfg(test)]
-use crate::news::{Standpoint, State};
-use crate::peers::{Peers, Settings};
+use crate::member_state::{MemberState, MemberVersion};
+use crate::peers::{Membership, MembershipConfig};
 use stateright::{Checker, Model, Property};
 use std::hash::{Hash, Hasher};
 
@@ -12,23 +12,23 @@
     ["a", "b", "c"][i].to_owned()
 }
 
-fn start(i: usize, epoch: u64, life: u64) -> Peers {
-    let settings = Settings {
+fn start(i: usize, epoch: u64, life: u64) -> Membership {
+    let settings = MembershipConfig {
         name: name(i),
         address: name(i),
         epoch,
-        life,
-        ..Settings::default()
+        incarnation: life,
+        ..MembershipConfig::default()
     };
-    Peers::new(settings, 1, 0)
+    Membership::new(settings, 1, 0)
 }
 
 /// What each member takes each for: itself first of all for what it is.
-type Views = Vec<Vec<Option<Standpoint>>>;
+type Views = Vec<Vec<Option<MemberVersion>>>;
 
 #[derive(Clone)]
 struct Fleet {
-    peers: Vec<Peers>,
+    peers: Vec<Membership>,
     runs: Vec<bool>,
     net: Vec<(usize, Vec<u8>)>, // What was told and may be delivered, once or more.
     tells: u8,
@@ -40,13 +40,13 @@
 
 impl Fleet {
     fn views(&self) -> Views {
-        let view = |p: &Peers| (0..MEMBERS).map(|j| p.standpoint_of(&name(j))).collect();
+        let view = |p: &Membership| (0..MEMBERS).map(|j| p.standpoint_of(&name(j))).collect();
         self.peers.iter().map(view).collect()
     }
 
     fn deliver(&mut self, to: usize, bytes: &[u8]) {
         if self.runs[to] {
-            self.peers[to].hear(0, "", bytes, &mut Vec::new());
+            self.peers[to].receive(0, "", bytes, &mut Vec::new());
         }
     }
 
@@ -62,7 +62,7 @@
                 }
             }
         }
-        let alive = |v: &Option<Standpoint>| v.is_some_and(|v| v.state == State::Alive);
+        let alive = |v: &Option<MemberVersion>| v.is_some_and(|v| v.state == MemberState::Alive);
         let views = fleet.views();
         (0..MEMBERS).filter(|i| self.runs[*i]).all(|i| {
             (0..MEMBERS)
@@ -107,7 +107,7 @@
 enum Act {
     Tell(usize, usize),
     Deliver(usize),
-    Accuse(usize, usize, State),
+    Accuse(usize, usize, MemberState),
     Restart(usize, u64),
     Leave(usize),
 }
@@ -151,7 +151,8 @@
                 }
                 if fleet.accusations > 0 {
                     acts.extend(
-                        [State::Suspect, State::Gone].map(|state| Act::Accuse(i, j, state)),
+                        [MemberState::Suspect, MemberState::Gone]
+                            .map(|state| Act::Accuse(i, j, state)),
                     );
                 }
             }
@@ -208,7 +209,7 @@
         for i in (0..MEMBERS).filter(|i| !matches!(act, Act::Restart(r, _) if r == *i)) {
             for j in 0..MEMBERS {
                 let less = match (old[i][j], new[i][j]) {
-                    (Some(old), Some(new)) => old.is_later_than(&new),
+                    (Some(old), Some(new)) => old.supersedes(&new),
                     (old, new) => old.is_some() && new.is_none(),
                 };
                 fleet.backwards |= less;
@@ -233,7 +234,7 @@
                             let (Some(own), Some(view)) = (own, views[i][j]) else {
                                 return true;
                             };
-                            !view.same_life(&own) || !view.is_later_than(&own)
+                            !view.is_same_incarnation(&own) || !view.supersedes(&own)
                         })
                     })
                 },
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -6,24 +6,24 @@
 //! **The law.** Nothing here is agreed: each front keeps its rules alone. What peers say may make it more careful; a peer
 //! that is silent, late, wrong or lying costs worth, never a rule.
 //!
-//! - [`Standpoint`]: what is known of one member, and which of two pieces of news is the later;
-//! - [`Peers`]: probes, suspicion, refutation, rejoining, own standing;
+//! - [`MemberVersion`]: what is known of one member, and which of two pieces of news is the later;
+//! - [`Membership`]: probes, suspicion, refutation, rejoining, own standing;
 //! - [`Entry`]: what a member has on the board, with its age;
 //! - [`wire`]: datagrams, keyed and versioned.
 #![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
-mod board;
 mod budget;
 #[cfg(test)]
 mod check;
-mod news;
+mod gossip_state;
+mod local_health;
+mod member_state;
 mod peers;
-mod standing;
 mod suspicion;
 pub mod wire;
 
-pub use board::{Entry, MOST_VALUE};
-pub use news::{Standpoint, State};
-pub use peers::{Change, Counters, Member, Output, Peers, Settings};
-pub use standing::Standing;
+pub use gossip_state::{Entry, MOST_VALUE};
+pub use local_health::LocalHealth;
+pub use member_state::{MemberState, MemberVersion};
+pub use peers::{Counters, Member, MemberChange, Membership, MembershipConfig, Output};
--- a/crates/membership/src/standing.rs
+++ b/crates/membership/src/local_health.rs
@@ -3,15 +3,15 @@
 
 /// How a front stands with the others, as it sees itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Standing {
+pub enum LocalHealth {
     /// There is nobody to hear.
     Alone,
     /// It hears whom it asks.
     Connected,
     /// Its timers were late, or a part of those it asked did not answer.
-    Doubtful,
+    Degraded,
     /// It hears nobody it asks: it accuses nobody.
-    CutOff,
+    Isolated,
     /// Another process has its name: it says nothing any more.
     Replaced,
 }
@@ -60,13 +60,13 @@
     }
 
     /// `others`: members to be heard.
-    pub(crate) fn standing(&self, now: u64, others: usize) -> Standing {
+    pub(crate) fn standing(&self, now: u64, others: usize) -> LocalHealth {
         let silent = self.heard.iter().filter(|heard| !**heard).count();
         match () {
-            () if others == 0 => Standing::Alone,
-            () if self.heard.len() == KEPT && silent == KEPT => Standing::CutOff,
-            () if now < self.late_until || silent * 2 >= KEPT => Standing::Doubtful,
-            () => Standing::Connected,
+            () if others == 0 => LocalHealth::Alone,
+            () if self.heard.len() == KEPT && silent == KEPT => LocalHealth::Isolated,
+            () if now < self.late_until || silent * 2 >= KEPT => LocalHealth::Degraded,
+            () => LocalHealth::Connected,
         }
     }
 }
--- a/crates/membership/src/news.rs
+++ b/crates/membership/src/member_state.rs
@@ -3,7 +3,7 @@
 
 /// What a member is taken for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum State {
+pub enum MemberState {
     /// It answers, or somebody says so.
     Alive,
     /// It did not answer somebody; it may refute that.
@@ -23,35 +23,35 @@
 /// - Within a life, to have left is final. Danger: old news of an orderly leave's process would bring it back for ever.
 /// - Else a higher `count`, which only the member itself raises, beats whatever was said of a lower one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Standpoint {
+pub struct MemberVersion {
     /// When this life of the member began: milliseconds of its host's wall clock, raised where that is behind.
     pub epoch: u64,
     /// Drawn at its start: tells two processes apart that use one name.
-    pub life: u64,
+    pub incarnation: u64,
     /// How often the member refuted what was said of it.
-    pub count: u32,
+    pub refutations: u32,
     /// What it is taken for.
-    pub state: State,
+    pub state: MemberState,
 }
 
-impl Standpoint {
-    fn rank(&self) -> (u64, u64, bool, u32, State) {
+impl MemberVersion {
+    fn rank(&self) -> (u64, u64, bool, u32, MemberState) {
         (
             self.epoch,
-            self.life,
-            self.state == State::Left,
-            self.count,
+            self.incarnation,
+            self.state == MemberState::Left,
+            self.refutations,
             self.state,
         )
     }
 
     /// Whether this is news to one who knows `other`.
-    pub fn is_later_than(&self, other: &Standpoint) -> bool {
+    pub fn supersedes(&self, other: &MemberVersion) -> bool {
         self.rank() > other.rank()
     }
 
     /// Whether both are of one life.
-    pub fn same_life(&self, other: &Standpoint) -> bool {
-        (self.epoch, self.life) == (other.epoch, other.life)
+    pub fn is_same_incarnation(&self, other: &MemberVersion) -> bool {
+        (self.epoch, self.incarnation) == (other.epoch, other.incarnation)
     }
 }
--- a/crates/membership/src/peers.rs
+++ b/crates/membership/src/peers.rs
@@ -1,16 +1,16 @@
 //! Members, probes and suspicion: what is heard and when, and what goes out for it.
-mod hear;
+mod dissemination;
 mod probe;
-mod spread;
+mod receive;
 
-use crate::board::{Board, Entry, MOST_VALUE};
 use crate::budget::Budget;
-use crate::news::{Standpoint, State};
-use crate::standing::{Health, Standing};
+use crate::gossip_state::{Board, Entry, MOST_VALUE};
+use crate::local_health::{Health, LocalHealth};
+use crate::member_state::{MemberState, MemberVersion};
 use crate::suspicion::Suspicion;
 use crate::wire::{Fault, MOST};
+use dissemination::Item;
 use probe::{Help, Probe};
-use spread::Item;
 use std::collections::{BTreeMap, BTreeSet};
 
 const MILLISECOND: u64 = 1_000_000;
@@ -26,7 +26,7 @@
 
 /// How a front takes part.
 #[derive(Clone, Debug)]
-pub struct Settings {
+pub struct MembershipConfig {
     /// Its name, the same after a restart.
     pub name: String,
     /// Where others reach it, as it says.
@@ -34,35 +34,35 @@
     /// Its host's wall clock at its start, milliseconds.
     pub epoch: u64,
     /// Drawn at its start.
-    pub life: u64,
+    pub incarnation: u64,
     /// Keyed checksum: a fleet's own, so that no other fleet mixes in.
     pub key: [u8; 16],
     /// Where others may be found at first.
     pub seeds: Vec<String>,
     /// Time between two probes, nanoseconds.
-    pub probe_every: u64,
+    pub probe_interval: u64,
     /// Time for a direct answer.
-    pub answer_within: u64,
+    pub probe_timeout: u64,
     /// Members asked to probe for us.
-    pub helpers: usize,
+    pub indirect_probes: usize,
     /// Budget, a second: datagrams and bytes.
     pub datagrams: f64,
     /// See `datagrams`.
     pub bytes: f64,
 }
 
-impl Default for Settings {
-    fn default() -> Settings {
-        Settings {
+impl Default for MembershipConfig {
+    fn default() -> MembershipConfig {
+        MembershipConfig {
             name: String::new(),
             address: String::new(),
             epoch: 0,
-            life: 0,
+            incarnation: 0,
             key: [0; 16],
             seeds: Vec::new(),
-            probe_every: SECOND,
-            answer_within: 400 * MILLISECOND,
-            helpers: 3,
+            probe_interval: SECOND,
+            probe_timeout: 400 * MILLISECOND,
+            indirect_probes: 3,
             datagrams: 60.0,
             bytes: 30_000.0,
         }
@@ -71,11 +71,11 @@
 
 /// A member that came to be taken for something else.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Change {
+pub struct MemberChange {
     /// Its name.
     pub name: String,
     /// What it is taken for now.
-    pub state: State,
+    pub state: MemberState,
     /// Who said so: a member's name, our own where we found it ourselves.
     pub by: String,
     /// Whether it is another life of it than before.
@@ -95,9 +95,9 @@
         bytes: Vec<u8>,
     },
     /// A member changed.
-    Change(Change),
+    MemberChanged(MemberChange),
     /// Our own standing changed.
-    Standing(Standing),
+    LocalHealthChanged(LocalHealth),
 }
 
 /// A member as operators see it.
@@ -108,7 +108,7 @@
     /// Where it is reached, as it says.
     pub address: String,
     /// What it is taken for.
-    pub state: State,
+    pub state: MemberState,
     /// Since when, our clock.
     pub since: u64,
     /// Who said so.
@@ -172,7 +172,7 @@
 
 #[derive(Clone)]
 pub(crate) struct Known {
-    at: Standpoint,
+    at: MemberVersion,
     address: String,
     since: u64,
     by: String,
@@ -183,9 +183,9 @@
 
 /// The state machine; a copy goes on from where it is. Times are nanoseconds of a monotonic clock.
 #[derive(Clone)]
-pub struct Peers {
-    settings: Settings,
-    me: Standpoint,
+pub struct Membership {
+    settings: MembershipConfig,
+    me: MemberVersion,
     started: u64,
     others: BTreeMap<String, Known>,
     // Kept beside `others`, so that no datagram costs a look at all of them.
@@ -200,7 +200,7 @@
     probe: Option<Probe>,
     helping: BTreeMap<u32, Help>,
     health: Health,
-    standing: Standing,
+    standing: LocalHealth,
     conflicts: (u32, u64),
     replaced: bool,
     left: bool,
@@ -215,21 +215,21 @@
     rng: oorandom::Rand32,
 }
 
-impl Peers {
+impl Membership {
     /// A member that knows nobody yet. `seed` feeds its choices of whom to ask.
-    pub fn new(settings: Settings, seed: u64, now: u64) -> Peers {
-        let me = Standpoint {
+    pub fn new(settings: MembershipConfig, seed: u64, now: u64) -> Membership {
+        let me = MemberVersion {
             epoch: settings.epoch,
-            life: settings.life,
-            count: 0,
-            state: State::Alive,
+            incarnation: settings.incarnation,
+            refutations: 0,
+            state: MemberState::Alive,
         };
         let mut rng = oorandom::Rand32::new(seed);
         // Fronts that start together do not ask together.
         let within = |rng: &mut oorandom::Rand32, time: u64| {
             now + (f64::from(rng.rand_float()) * time as f64) as u64
         };
-        Peers {
+        Membership {
             me,
             started: now,
             others: BTreeMap::new(),
@@ -244,13 +244,13 @@
             probe: None,
             helping: BTreeMap::new(),
             health: Health::default(),
-            standing: Standing::Alone,
+            standing: LocalHealth::Alone,
             conflicts: (0, now),
             replaced: false,
             left: false,
             seq: 0,
             digest: rng.rand_u32() as usize,
-            probe_at: within(&mut rng, settings.probe_every),
+            probe_at: within(&mut rng, settings.probe_interval),
             gossip_at: u64::MAX,
             sync_at: within(&mut rng, 2 * SECOND),
             rejoin_at: now,
@@ -264,8 +264,8 @@
         }
     }
 
-    /// When [`Peers::expire`] must be called next.
-    pub fn next(&self) -> u64 {
+    /// When [`Membership::expire`] must be called next.
+    pub fn next_expiry(&self) -> u64 {
         if self.replaced || self.left {
             return u64::MAX;
         }
@@ -291,9 +291,9 @@
         if self.replaced || self.left {
             return;
         }
-        let due = self.next();
+        let due = self.next_expiry();
         // A timer late by half a round tells that we stood still.
-        if now > due.saturating_add(self.settings.probe_every / 2) {
+        if now > due.saturating_add(self.settings.probe_interval / 2) {
             self.stood_still(now, now - due);
         }
         self.probes(now, out);
@@ -315,11 +315,11 @@
     /// whoever had no chance to be heard. It finds itself late first.
     fn stood_still(&mut self, now: u64, by: u64) {
         self.health
-            .stood_still(now.saturating_add(3 * self.settings.probe_every));
+            .stood_still(now.saturating_add(3 * self.settings.probe_interval));
         self.probe = None;
         self.probe_at = now;
         self.helping.clear();
-        let again = 2 * self.settings.probe_every;
+        let again = 2 * self.settings.probe_interval;
         let suspicions = self
             .others
             .values_mut()
@@ -329,19 +329,19 @@
 
     fn stand(&mut self, now: u64, out: &mut Vec<Output>) {
         let standing = match self.health.standing(now, self.alive) {
-            _ if self.replaced => Standing::Replaced,
-            Standing::Alone if self.gone > 0 => Standing::CutOff,
+            _ if self.replaced => LocalHealth::Replaced,
+            LocalHealth::Alone if self.gone > 0 => LocalHealth::Isolated,
             standing => standing,
         };
         if standing != self.standing {
             self.standing = standing;
-            out.push(Output::Standing(standing));
+            out.push(Output::LocalHealthChanged(standing));
         }
     }
 
     /// Says that we leave; nothing goes out after that.
     pub fn leave(&mut self, now: u64, out: &mut Vec<Output>) {
-        self.me.state = State::Left;
+        self.me.state = MemberState::Left;
         self.push(Item::Member(self.settings.name.clone()), now);
         for _ in 0..3 {
             self.gossip(now, out);
@@ -384,13 +384,13 @@
     }
 
     /// What one is taken for.
-    pub fn state_of(&self, name: &str) -> Option<State> {
+    pub fn state_of(&self, name: &str) -> Option<MemberState> {
         self.others.get(name).map(|k| k.at.state)
     }
 
     /// Others that may still act: all that are known but those that said that they leave. One that is gone for us may be
     /// out of our reach only; it counts until it is forgotten.
-    pub fn reckoned(&self) -> u32 {
+    pub fn estimated_fleet_size(&self) -> u32 {
         (self.alive + self.gone) as u32
     }
 
@@ -405,12 +405,12 @@
     }
 
     /// Our own standing.
-    pub fn standing(&self) -> Standing {
+    pub fn local_health(&self) -> LocalHealth {
         self.standing
     }
 
     /// Our own standpoint.
-    pub fn me(&self) -> Standpoint {
+    pub fn own_version(&self) -> MemberVersion {
         self.me
     }
 
@@ -428,16 +428,18 @@
     }
 
     /// A member's state becomes another one; `None`: it is not known.
-    fn counted(&mut self, before: Option<State>, after: Option<State>) {
-        let alive = |s: Option<State>| usize::from(s.is_some_and(|s| s <= State::Suspect));
-        let gone = |s: Option<State>| usize::from(s == Some(State::Gone));
+    fn counted(&mut self, before: Option<MemberState>, after: Option<MemberState>) {
+        let alive =
+            |s: Option<MemberState>| usize::from(s.is_some_and(|s| s <= MemberState::Suspect));
+        let gone = |s: Option<MemberState>| usize::from(s == Some(MemberState::Gone));
         self.alive = self.alive + alive(after) - alive(before);
         self.gone = self.gone + gone(after) - gone(before);
     }
 
     /// Some members that may be asked, by chance, without one.
     fn some(&mut self, most: usize, but: &str) -> Vec<String> {
-        let may = |(name, k): &(&String, &Known)| k.at.state <= State::Suspect && *name != but;
+        let may =
+            |(name, k): &(&String, &Known)| k.at.state <= MemberState::Suspect && *name != but;
         let mut names: Vec<&String> = self
             .others
             .iter()
--- a/crates/membership/src/peers/spread.rs
+++ b/crates/membership/src/peers/dissemination.rs
@@ -1,8 +1,8 @@
 //! What goes out: news and entries on every datagram, the least told first, within the budget.
 #[cfg(test)]
-use super::Standpoint;
-use super::{Known, Output, Peers, State, FORGET, MILLISECOND, SECOND};
-use crate::board::Written;
+use super::MemberVersion;
+use super::{Known, MemberState, Membership, Output, FORGET, MILLISECOND, SECOND};
+use crate::gossip_state::Written;
 use crate::wire::{Body, Builder, Head, News};
 
 /// Time between two rounds of gossip while there is something new.
@@ -27,7 +27,7 @@
     Entry(String, u8),
 }
 
-impl Peers {
+impl Membership {
     /// Something new is to be told.
     pub(super) fn push(&mut self, item: Item, now: u64) {
         if let Some(told) = self.told.insert(item.clone(), 0) {
@@ -190,7 +190,8 @@
     /// nobody would ever ask again. The datagram tells the other what it is taken for, and it refutes.
     pub(super) fn rejoin(&mut self, now: u64, out: &mut Vec<Output>) {
         self.rejoin_at = now.saturating_add(REJOIN);
-        let old = |k: &Known| k.at.state >= State::Gone && now.saturating_sub(k.since) >= FORGET;
+        let old =
+            |k: &Known| k.at.state >= MemberState::Gone && now.saturating_sub(k.since) >= FORGET;
         let old: Vec<String> = self
             .others
             .iter()
@@ -205,7 +206,7 @@
         let gone: Vec<String> = self
             .others
             .iter()
-            .filter(|(_, k)| k.at.state == State::Gone)
+            .filter(|(_, k)| k.at.state == MemberState::Gone)
             .map(|(n, _)| n.clone())
             .collect();
         self.seq = self.seq.wrapping_add(1);
@@ -226,7 +227,7 @@
                 && !self
                     .others
                     .values()
-                    .any(|k| k.address == **seed && k.at.state < State::Gone)
+                    .any(|k| k.address == **seed && k.at.state < MemberState::Gone)
         };
         let unmet: Vec<String> = self.settings.seeds.iter().filter(unmet).cloned().collect();
         if !unmet.is_empty() {
@@ -237,7 +238,7 @@
 
     pub(super) fn write_as(&mut self, now: u64, key: u8, value: Vec<u8>, count: u32) {
         let owner = self.settings.name.clone();
-        let (epoch, life) = (self.me.epoch, self.me.life);
+        let (epoch, life) = (self.me.epoch, self.me.incarnation);
         let written = Written {
             owner: owner.clone(),
             key,
@@ -256,8 +257,8 @@
 
 /// For the model's check.
 #[cfg(test)]
-impl Peers {
-    pub(crate) fn standpoint_of(&self, name: &str) -> Option<Standpoint> {
+impl Membership {
+    pub(crate) fn standpoint_of(&self, name: &str) -> Option<MemberVersion> {
         if name == self.settings.name {
             Some(self.me)
         } else {
@@ -284,9 +285,9 @@
         builder.finish(&self.settings.key)
     }
 
-    pub(crate) fn accuse(&mut self, name: &str, state: State) {
+    pub(crate) fn accuse(&mut self, name: &str, state: MemberState) {
         if let Some(known) = self.others.get(name).filter(|k| k.at.state < state) {
-            let (at, address) = (Standpoint { state, ..known.at }, known.address.clone());
+            let (at, address) = (MemberVersion { state, ..known.at }, known.address.clone());
             let by = self.settings.name.clone();
             self.learn(0, name, &address, at, &by, &mut Vec::new());
         }
--- a/crates/membership/src/peers/probe.rs
+++ b/crates/membership/src/peers/probe.rs
@@ -1,5 +1,5 @@
 //! Probes: directly, then by helpers; who answers neither way is suspected, and gone if it does not refute in time.
-use super::{Item, Output, Peers, Standing, Standpoint, State, SECOND};
+use super::{Item, LocalHealth, MemberState, MemberVersion, Membership, Output, SECOND};
 use crate::wire::Body;
 
 #[derive(Clone)]
@@ -32,7 +32,7 @@
     pub until: u64,
 }
 
-impl Peers {
+impl Membership {
     pub(super) fn probes(&mut self, now: u64, out: &mut Vec<Output>) {
         self.ask_helpers(now, out);
         let over = self.probe.as_ref().is_some_and(|p| now >= p.ends);
@@ -57,7 +57,7 @@
         };
         probe.direct = 0;
         let (target, seq) = (probe.target.clone(), probe.seq);
-        let helpers = self.some(self.settings.helpers, &target);
+        let helpers = self.some(self.settings.indirect_probes, &target);
         let ask = Body::PingFor {
             seq,
             target: target.clone(),
@@ -81,7 +81,7 @@
     }
 
     fn begin_probe(&mut self, now: u64, out: &mut Vec<Output>) {
-        self.probe_at = now.saturating_add(self.settings.probe_every);
+        self.probe_at = now.saturating_add(self.settings.probe_interval);
         let target = loop {
             let Some(name) = self.ring.pop() else {
                 // Each once, then all anew in another order: the longest time until one is looked at is bounded.
@@ -94,21 +94,21 @@
             if self
                 .others
                 .get(&name)
-                .is_some_and(|k| k.at.state <= State::Suspect)
+                .is_some_and(|k| k.at.state <= MemberState::Suspect)
             {
                 break name;
             }
         };
         self.seq = self.seq.wrapping_add(1);
         let scale = self.health.scale();
-        let answer = self.settings.answer_within.saturating_mul(scale);
-        let ends = now.saturating_add(self.settings.probe_every.saturating_mul(scale));
+        let answer = self.settings.probe_timeout.saturating_mul(scale);
+        let ends = now.saturating_add(self.settings.probe_interval.saturating_mul(scale));
         let seq = self.seq;
         // It is told if it is suspected, so that it can refute at once.
         let suspected = self
             .others
             .get(&target)
-            .is_some_and(|k| k.at.state == State::Suspect);
+            .is_some_and(|k| k.at.state == MemberState::Suspect);
         let first: Vec<Item> = suspected
             .then(|| Item::Member(target.clone()))
             .into_iter()
@@ -139,18 +139,20 @@
             self.health.worsen();
         }
         self.stand(now, out);
-        if self.standing == Standing::CutOff || self.health.standing(now, 1) == Standing::CutOff {
+        if self.standing == LocalHealth::Isolated
+            || self.health.standing(now, 1) == LocalHealth::Isolated
+        {
             return;
         }
         let Some(known) = self
             .others
             .get(&probe.target)
-            .filter(|k| k.at.state <= State::Suspect)
+            .filter(|k| k.at.state <= MemberState::Suspect)
         else {
             return;
         };
-        let at = Standpoint {
-            state: State::Suspect,
+        let at = MemberVersion {
+            state: MemberState::Suspect,
             ..known.at
         };
         let (address, by) = (known.address.clone(), self.settings.name.clone());
@@ -163,7 +165,7 @@
             suspicion.is_some_and(|s| now >= s.until())
         };
         let due: Vec<String> = self.suspects.iter().filter(due).cloned().collect();
-        let deaf = self.health.standing(now, 1) == Standing::CutOff;
+        let deaf = self.health.standing(now, 1) == LocalHealth::Isolated;
         for name in due {
             if let Some(known) = self.others.get_mut(&name) {
                 if deaf {
@@ -172,8 +174,8 @@
                     continue;
                 }
                 let (at, address) = (
-                    Standpoint {
-                        state: State::Gone,
+                    MemberVersion {
+                        state: MemberState::Gone,
                         ..known.at
                     },
                     known.address.clone(),
@@ -217,7 +219,7 @@
     ) {
         self.seq = self.seq.wrapping_add(1);
         let own = self.seq;
-        let until = now.saturating_add(self.settings.answer_within);
+        let until = now.saturating_add(self.settings.probe_timeout);
         if self.helping.len() < 64
             && self.send_to(
                 now,
@@ -250,7 +252,7 @@
         probe.ends = probe.ends.min(
             probe
                 .sent
-                .saturating_add(self.settings.probe_every)
+                .saturating_add(self.settings.probe_interval)
                 .max(now),
         );
         if probe.target == from {
--- a/crates/membership/src/peers/hear.rs
+++ b/crates/membership/src/peers/receive.rs
@@ -1,7 +1,7 @@
 //! What is heard: whose datagrams count, what they tell of others, and what they tell of us.
 use super::{
-    Budget, Change, Item, Known, Output, Peers, Standing, Standpoint, State, Suspicion, CONFLICTS,
-    CONTESTED, SETTLED,
+    Budget, Item, Known, LocalHealth, MemberChange, MemberState, MemberVersion, Membership, Output,
+    Suspicion, CONFLICTS, CONTESTED, SETTLED,
 };
 use crate::wire::{self, Body, News};
 
@@ -10,9 +10,9 @@
 /// A count that no honest process comes near.
 const MANY: u32 = u32::MAX / 2;
 
-impl Peers {
+impl Membership {
     /// Takes a datagram that came from an address.
-    pub fn hear(&mut self, now: u64, from: &str, bytes: &[u8], out: &mut Vec<Output>) {
+    pub fn receive(&mut self, now: u64, from: &str, bytes: &[u8], out: &mut Vec<Output>) {
         if self.replaced || self.left {
             return;
         }
@@ -23,7 +23,7 @@
         self.counters.heard += 1;
         let (head, name) = (&datagram.head, datagram.head.from.clone());
         if name == self.settings.name {
-            if head.at.life != self.me.life {
+            if head.at.incarnation != self.me.incarnation {
                 self.conflict(now, head.at, out);
             }
             return self.stand(now, out);
@@ -33,7 +33,7 @@
             return;
         }
         if let Some(known) = self.others.get(&name) {
-            if known.at.is_later_than(&head.at) && !known.at.same_life(&head.at) {
+            if known.at.supersedes(&head.at) && !known.at.is_same_incarnation(&head.at) {
                 // Danger: an old process's datagrams, still on their way, would undo what its successor says. But it may be
                 // the successor, on a host whose wall clock was set back: it is told, and raises its epoch.
                 self.counters.old_lives += 1;
@@ -83,7 +83,7 @@
                 let odd = self
                     .others
                     .get(name)
-                    .is_some_and(|k| k.at.state != State::Alive);
+                    .is_some_and(|k| k.at.state != MemberState::Alive);
                 let first: Vec<Item> = odd
                     .then(|| Item::Member(name.to_owned()))
                     .into_iter()
@@ -104,7 +104,7 @@
                         self.others.get(&of).map(|k| k.at)
                     };
                     match known {
-                        Some(known) if known.is_later_than(&at) => better.push(Item::Member(of)),
+                        Some(known) if known.supersedes(&at) => better.push(Item::Member(of)),
                         Some(known) if known == at => {}
                         _ => want.0.push(of),
                     }
@@ -150,18 +150,18 @@
         now: u64,
         name: &str,
         address: &str,
-        at: Standpoint,
+        at: MemberVersion,
         by: &str,
         out: &mut Vec<Output>,
     ) {
         let before = self.others.get(name).map(|k| k.at);
         match before {
-            Some(before) if !at.is_later_than(&before) => {
+            Some(before) if !at.supersedes(&before) => {
                 // Another that suspects the same: the time to refute shortens, and that is told on.
                 let known = self
                     .others
                     .get_mut(name)
-                    .filter(|_| at == before && at.state == State::Suspect);
+                    .filter(|_| at == before && at.state == MemberState::Suspect);
                 let Some(known) = known else { return };
                 if known.suspicion.as_mut().is_some_and(|s| s.confirm(by)) {
                     by.clone_into(&mut known.by);
@@ -170,14 +170,14 @@
                 return;
             }
             // Of one that is not known nothing but that it lives is worth keeping.
-            None if at.state != State::Alive && at.state != State::Suspect => return,
+            None if at.state != MemberState::Alive && at.state != MemberState::Suspect => return,
             _ => {}
         }
-        let restarted = before.is_some_and(|b| !b.same_life(&at));
+        let restarted = before.is_some_and(|b| !b.is_same_incarnation(&at));
         let changed = before.is_none_or(|b| b.state != at.state) || restarted;
-        let every = self.settings.probe_every;
+        let every = self.settings.probe_interval;
         let suspicion =
-            (at.state == State::Suspect).then(|| Suspicion::new(now, by, self.alive, every));
+            (at.state == MemberState::Suspect).then(|| Suspicion::new(now, by, self.alive, every));
         self.counted(before.map(|b| b.state), Some(at.state));
         let _ = if suspicion.is_some() {
             self.suspects.insert(name.to_owned())
@@ -194,45 +194,45 @@
             answers: Budget::new(ASKED, now),
         });
         (known.at, known.suspicion) = (at, suspicion);
-        if at.state <= State::Suspect {
+        if at.state <= MemberState::Suspect {
             known.address = address.to_owned();
         }
         by.clone_into(&mut known.by);
         if changed {
             known.since = now;
-            out.push(Output::Change(Change {
+            out.push(Output::MemberChanged(MemberChange {
                 name: name.to_owned(),
                 state: at.state,
                 by: by.to_owned(),
                 restarted,
             }));
         }
-        if at.state == State::Left {
+        if at.state == MemberState::Left {
             self.board.forget(name);
         }
         self.push(Item::Member(name.to_owned()), now);
     }
 
     /// What others say of us. A suspicion is refuted; a word of another life is a conflict over the name.
-    fn told_of_us(&mut self, now: u64, at: Standpoint, out: &mut Vec<Output>) {
-        if !at.same_life(&self.me) {
-            if at.is_later_than(&self.me) {
+    fn told_of_us(&mut self, now: u64, at: MemberVersion, out: &mut Vec<Output>) {
+        if !at.is_same_incarnation(&self.me) {
+            if at.supersedes(&self.me) {
                 self.conflict(now, at, out);
             }
             return;
         }
-        if at.state == State::Left || at.count >= MANY {
+        if at.state == MemberState::Left || at.refutations >= MANY {
             // Nobody but us says that we leave, or counts so far.
             self.counters.forged += 1;
             return self.renew(now, self.me.epoch + 1);
         }
-        if at.state != State::Alive && at.count >= self.me.count {
-            self.me.count = at.count + 1;
+        if at.state != MemberState::Alive && at.refutations >= self.me.refutations {
+            self.me.refutations = at.refutations + 1;
             self.health.worsen();
             self.push(Item::Member(self.settings.name.clone()), now);
-        } else if at.count > self.me.count {
+        } else if at.refutations > self.me.refutations {
             self.counters.forged += 1;
-            self.me.count = at.count;
+            self.me.refutations = at.refutations;
         }
     }
 
@@ -241,10 +241,10 @@
     /// Right after a start it is our former life, on a clock that was ahead: we raise our epoch over it. Danger: two processes
     /// that are configured under one name would raise theirs in turn for ever; the one that has been there for longer gives
     /// way, and says so. Harm: a liar that keeps at it can silence a front on the board; its rules do not need the board.
-    fn conflict(&mut self, now: u64, other: Standpoint, out: &mut Vec<Output>) {
+    fn conflict(&mut self, now: u64, other: MemberVersion, out: &mut Vec<Output>) {
         self.counters.conflicts += 1;
-        let ours = (self.me.epoch, self.me.life);
-        if ours > (other.epoch, other.life) {
+        let ours = (self.me.epoch, self.me.incarnation);
+        if ours > (other.epoch, other.incarnation) {
             return self.push(Item::Member(self.settings.name.clone()), now);
         }
         if now.saturating_sub(self.conflicts.1) > CONTESTED {
@@ -253,15 +253,15 @@
         self.conflicts.0 += 1;
         if now.saturating_sub(self.started) >= SETTLED && self.conflicts.0 >= CONFLICTS {
             self.replaced = true;
-            self.standing = Standing::Replaced;
-            return out.push(Output::Standing(Standing::Replaced));
+            self.standing = LocalHealth::Replaced;
+            return out.push(Output::LocalHealthChanged(LocalHealth::Replaced));
         }
         self.renew(now, other.epoch.saturating_add(1));
     }
 
     /// Our epoch rises; entries are written anew under it.
     fn renew(&mut self, now: u64, epoch: u64) {
-        (self.me.epoch, self.me.count) = (epoch, 0);
+        (self.me.epoch, self.me.refutations) = (epoch, 0);
         self.push(Item::Member(self.settings.name.clone()), now);
         for key in self.own_entries.clone() {
             if let Some(entry) = self.board.read(now, &self.settings.name, key) {
@@ -270,8 +270,11 @@
         }
     }
 
-    fn entered(&mut self, now: u64, entry: &crate::board::Written) {
-        let (life, ours) = ((entry.epoch, entry.life), (self.me.epoch, self.me.life));
+    fn entered(&mut self, now: u64, entry: &crate::gossip_state::Written) {
+        let (life, ours) = (
+            (entry.epoch, entry.life),
+            (self.me.epoch, self.me.incarnation),
+        );
         if entry.owner == self.settings.name {
             let held = self.board.version(&self.settings.name, entry.key);
             let own = held.is_some_and(|held| held == (entry.epoch, entry.life, entry.count));
@@ -295,8 +298,10 @@
         let known = self
             .others
             .get(&entry.owner)
-            .filter(|k| k.at.state != State::Left);
-        if known.is_some_and(|k| (k.at.epoch, k.at.life) == life) && self.board.take(now, entry) {
+            .filter(|k| k.at.state != MemberState::Left);
+        if known.is_some_and(|k| (k.at.epoch, k.at.incarnation) == life)
+            && self.board.take(now, entry)
+        {
             self.push(Item::Entry(entry.owner.clone(), entry.key), now);
         }
     }
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -1,7 +1,7 @@
 //! Datagrams: two letters, a version, a keyed checksum, then sections. A section of an unknown kind is passed over, so that
 //! a later version may add some.
-use crate::board::Written;
-use crate::news::Standpoint;
+use crate::gossip_state::Written;
+use crate::member_state::MemberVersion;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher24;
@@ -34,7 +34,7 @@
 pub(crate) struct Head {
     pub from: String,
     pub address: String,
-    pub at: Standpoint,
+    pub at: MemberVersion,
     pub to: String, // Empty: whoever is there.
 }
 
@@ -43,7 +43,7 @@
 pub(crate) struct News {
     pub name: String,
     pub address: String,
-    pub at: Standpoint,
+    pub at: MemberVersion,
     pub by: String, // Who found it so. Danger: who only passes it on would count as another witness.
 }
 
@@ -69,7 +69,7 @@
     Gossip,
     /// What the sender knows, a part of it.
     Digest {
-        members: Vec<(String, Standpoint)>,
+        members: Vec<(String, MemberVersion)>,
         entries: Vec<(String, u8, Version)>,
     },
     /// What the sender wants of what it was told to be there.
@@ -194,14 +194,14 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::news::State;
+    use crate::member_state::MemberState;
 
     fn head() -> Head {
-        let at = Standpoint {
+        let at = MemberVersion {
             epoch: 7,
-            life: 8,
-            count: 9,
-            state: State::Alive,
+            incarnation: 8,
+            refutations: 9,
+            state: MemberState::Alive,
         };
         Head {
             from: "a".into(),
--- a/crates/membership/tests/fleet.rs
+++ b/crates/membership/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! Fleets on a net in memory: deaths, partitions, loss, stops, restarts. Each bound stated in `docs/fleet.md` is held here.
-use crankpaddle_fleet_net::*;
-use crankpaddle_membership::{Settings, Standing, State};
+use crankpaddle_fault_simulation::*;
+use crankpaddle_membership::{LocalHealth, MemberState, MembershipConfig};
 
 fn all(n: usize) -> Vec<usize> {
     (0..n).collect()
@@ -8,7 +8,9 @@
 
 fn joined(n: usize, seed: u64) -> Net {
     let mut net = Net::fleet(n, seed);
-    let took = net.until(30 * SECOND, |net| net.all(&all(n), &all(n), State::Alive));
+    let took = net.until(30 * SECOND, |net| {
+        net.all(&all(n), &all(n), MemberState::Alive)
+    });
     assert!(took.is_some(), "seed {seed}: {n} never met");
     net.run(5 * SECOND);
     assert!(
@@ -29,7 +31,11 @@
         net.start(settings(i, &[99, 3]));
     }
     assert!(net
-        .until(30 * SECOND, |net| net.all(&all(10), &all(10), State::Alive))
+        .until(30 * SECOND, |net| net.all(
+            &all(10),
+            &all(10),
+            MemberState::Alive
+        ))
         .is_some());
 }
 
@@ -40,7 +46,9 @@
         let (dead, living): (Vec<usize>, Vec<usize>) = (all(12), (12..40).collect());
         dead.iter().for_each(|i| net.kill(*i));
         let from = net.now;
-        let took = net.until(60 * SECOND, |net| net.all(&living, &dead, State::Gone));
+        let took = net.until(60 * SECOND, |net| {
+            net.all(&living, &dead, MemberState::Gone)
+        });
         assert!(
             took.is_some_and(|t| t <= 40 * SECOND),
             "seed {seed}: {took:?}"
@@ -77,7 +85,9 @@
         net.run(5 * SECOND);
         let back = net.now;
         (0..5).for_each(|i| net.go_on(i));
-        let took = net.until(20 * SECOND, |net| net.all(&all(40), &all(40), State::Alive));
+        let took = net.until(20 * SECOND, |net| {
+            net.all(&all(40), &all(40), MemberState::Alive)
+        });
         assert!(
             took.is_some_and(|t| t <= 8 * SECOND),
             "seed {seed}: {took:?}"
@@ -91,7 +101,7 @@
         assert!(net
             .standings
             .iter()
-            .any(|(at, i, s)| *at >= back && *i < 5 && *s == Standing::Doubtful));
+            .any(|(at, i, s)| *at >= back && *i < 5 && *s == LocalHealth::Degraded));
     }
 }
 
@@ -104,7 +114,9 @@
         net.weather.lets = Box::new(|a, b| a % 2 == b % 2);
         net.run(10 * SECOND);
         net.weather.lets = Box::new(|_, _| true);
-        let took = net.until(60 * SECOND, |net| net.all(&all(40), &all(40), State::Alive));
+        let took = net.until(60 * SECOND, |net| {
+            net.all(&all(40), &all(40), MemberState::Alive)
+        });
         assert!(
             took.is_some_and(|t| t <= 30 * SECOND),
             "seed {seed}: {took:?}"
@@ -112,7 +124,7 @@
         let connected = |net: &Net| {
             net.nodes
                 .iter()
-                .all(|n| n.peers.standing() == Standing::Connected)
+                .all(|n| n.peers.local_health() == LocalHealth::Connected)
         };
         assert!(net.until(15 * SECOND, connected).is_some());
     }
@@ -125,7 +137,7 @@
     net.weather.lets = Box::new(|a, b| (a == 0) == (b == 0));
     let from = net.now;
     let others: Vec<usize> = (1..20).collect();
-    let took = net.until(90 * SECOND, |net| net.all(&others, &[0], State::Gone));
+    let took = net.until(90 * SECOND, |net| net.all(&others, &[0], MemberState::Gone));
     assert!(took.is_some(), "the others see that it is gone");
     net.run(30 * SECOND);
     assert!(
@@ -133,8 +145,8 @@
         "who hears nobody accuses nobody"
     );
     assert_eq!(
-        net.nodes[0].peers.standing(),
-        Standing::CutOff,
+        net.nodes[0].peers.local_health(),
+        LocalHealth::Isolated,
         "{:?}",
         net.standings
             .iter()
@@ -142,11 +154,13 @@
             .collect::<Vec<_>>()
     );
     net.weather.lets = Box::new(|_, _| true);
-    let took = net.until(60 * SECOND, |net| net.all(&all(20), &all(20), State::Alive));
+    let took = net.until(60 * SECOND, |net| {
+        net.all(&all(20), &all(20), MemberState::Alive)
+    });
     assert!(took.is_some_and(|t| t <= 30 * SECOND), "{took:?}");
     assert!(net
-        .until(15 * SECOND, |net| net.nodes[0].peers.standing()
-            == Standing::Connected)
+        .until(15 * SECOND, |net| net.nodes[0].peers.local_health()
+            == LocalHealth::Connected)
         .is_some());
 }
 
@@ -163,14 +177,14 @@
     );
     net.weather.lets = Box::new(|a, _| a != 3); // It hears all and is heard by none.
     net.run(60 * SECOND);
-    assert!(net.all(&[0, 1, 2, 4, 5], &[3], State::Gone));
+    assert!(net.all(&[0, 1, 2, 4, 5], &[3], MemberState::Gone));
     let wrong: Vec<_> = net
         .accused(from)
         .into_iter()
         .filter(|(by, n)| *by == 3 || *n != name(3))
         .collect();
     assert!(wrong.is_empty(), "{wrong:?}");
-    assert_eq!(net.nodes[3].peers.standing(), Standing::CutOff);
+    assert_eq!(net.nodes[3].peers.local_health(), LocalHealth::Isolated);
 }
 
 #[test]
@@ -187,9 +201,9 @@
         net.kill(7);
         net.run(50 * MS);
         let epoch = if set_back { 500_000 } else { 1_005_000 };
-        net.start(Settings {
+        net.start(MembershipConfig {
             epoch,
-            life: 777,
+            incarnation: 777,
             ..settings(7, &[0])
         });
         let from = net.now;
@@ -203,7 +217,7 @@
                     .iter()
                     .any(|(_, at, c)| at == i && c.name == name(7) && c.restarted)
             };
-            others.iter().all(life) && net.all(&all(12), &all(12), State::Alive)
+            others.iter().all(life) && net.all(&all(12), &all(12), MemberState::Alive)
         });
         assert!(
             took.is_some_and(|t| t <= 12 * SECOND),
@@ -234,16 +248,16 @@
     net.run(3 * SECOND);
     let old = std::mem::take(&mut net.copies);
     net.keep_copies = false;
-    net.tell(4, crankpaddle_membership::Peers::leave);
+    net.tell(4, crankpaddle_membership::Membership::leave);
     net.kill(4);
     let others: Vec<usize> = all(20).into_iter().filter(|i| *i != 4).collect();
-    let took = net.until(20 * SECOND, |net| net.all(&others, &[4], State::Left));
+    let took = net.until(20 * SECOND, |net| net.all(&others, &[4], MemberState::Left));
     assert!(took.is_some_and(|t| t <= 3 * SECOND), "{took:?}");
     for (from, to, bytes) in old {
         net.carry(from, to, bytes);
     }
     net.run(30 * SECOND);
-    assert!(net.all(&others, &[4], State::Left));
+    assert!(net.all(&others, &[4], MemberState::Left));
 }
 
 #[test]
@@ -251,22 +265,25 @@
     let mut net = joined(8, 8);
     net.run(15 * SECOND);
     // The second one has an address of its own and the first one's name.
-    let second = net.start(Settings {
+    let second = net.start(MembershipConfig {
         address: "elsewhere".into(),
         epoch: 2_000_000,
-        life: 99,
+        incarnation: 99,
         ..settings(5, &[0])
     });
     let took = net.until(60 * SECOND, |net| {
-        net.nodes[5].peers.standing() == Standing::Replaced
+        net.nodes[5].peers.local_health() == LocalHealth::Replaced
     });
     assert!(took.is_some(), "the older never noticed");
     net.run(10 * SECOND);
-    assert_ne!(net.nodes[second].peers.standing(), Standing::Replaced);
+    assert_ne!(
+        net.nodes[second].peers.local_health(),
+        LocalHealth::Replaced
+    );
     assert!(net
         .standings
         .iter()
-        .any(|(_, i, s)| *i == 5 && *s == Standing::Replaced));
+        .any(|(_, i, s)| *i == 5 && *s == LocalHealth::Replaced));
 }
 
 #[test]
@@ -309,12 +326,12 @@
         .unwrap();
     net.run(5 * SECOND);
     // A liar with the key: it runs as front 0, whose life it knows, and writes much.
-    let me = net.nodes[0].peers.me();
+    let me = net.nodes[0].peers.own_version();
     let mut liar = Net::new(1);
     liar.keep_copies = true;
-    liar.start(Settings {
+    liar.start(MembershipConfig {
         epoch: me.epoch,
-        life: me.life,
+        incarnation: me.incarnation,
         ..settings(0, &[])
     });
     liar.start(settings(1, &[0]));
@@ -397,23 +414,27 @@
         net.start(settings(i, &[0]));
         net.run(500 * MS);
     }
-    let took = net.until(20 * SECOND, |net| net.all(&all(40), &all(40), State::Alive));
+    let took = net.until(20 * SECOND, |net| {
+        net.all(&all(40), &all(40), MemberState::Alive)
+    });
     assert!(took.is_some());
 
     for i in 15..40 {
-        net.tell(i, crankpaddle_membership::Peers::leave);
+        net.tell(i, crankpaddle_membership::Membership::leave);
         net.kill(i);
         net.run(300 * MS);
     }
     let gone: Vec<usize> = (15..40).collect();
-    let took = net.until(20 * SECOND, |net| net.all(&all(15), &gone, State::Left));
+    let took = net.until(20 * SECOND, |net| {
+        net.all(&all(15), &gone, MemberState::Left)
+    });
     let state = |i: usize| (0..15).map(|at| net.state(at, i)).collect::<Vec<_>>();
     assert!(
         took.is_some(),
         "{:?}",
         gone.iter()
             .map(|i| state(*i))
-            .find(|s| s.iter().any(|s| *s != Some(State::Left)))
+            .find(|s| s.iter().any(|s| *s != Some(MemberState::Left)))
     );
     assert!(net.accused(0).is_empty(), "{:?}", net.accused(0));
 }
--- a/crates/membership/tests/wire_bytes.rs
+++ b/crates/membership/tests/wire_bytes.rs
@@ -1,6 +1,6 @@
 //! Wire bytes: the exact datagrams of each kind that members with fixed seeds and a fixed clock write, and that they are read.
 //! Names in the code may change; the literals here may not.
-use crankpaddle_membership::{Output, Peers, Settings};
+use crankpaddle_membership::{Membership, MembershipConfig, Output};
 use siphasher::sip::SipHasher24;
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::Hasher;
@@ -45,21 +45,21 @@
         .collect()
 }
 
-fn member(name: &str, seed: u64) -> Peers {
-    let settings = Settings {
+fn member(name: &str, seed: u64) -> Membership {
+    let settings = MembershipConfig {
         name: name.to_owned(),
         address: format!("10.0.0.{seed}:7"),
         epoch: 1_700_000_000_000 + seed,
-        life: 0x1234_5678_9abc_0000 + seed,
+        incarnation: 0x1234_5678_9abc_0000 + seed,
         key: KEY,
         seeds: if name == "a" {
             vec![]
         } else {
             vec!["10.0.0.1:7".to_owned()]
         },
-        ..Settings::default()
+        ..MembershipConfig::default()
     };
-    Peers::new(settings, seed, 0)
+    Membership::new(settings, seed, 0)
 }
 
 /// The kinds of a datagram's sections, and the first byte of its body's.
@@ -77,7 +77,7 @@
 
 /// Four members for 20 s; the last is cut off from the 8th second on, and the first leaves at the end. All datagrams, in order.
 fn transcript() -> Vec<Vec<u8>> {
-    let mut members: Vec<Peers> = ["a", "b", "c", "d"]
+    let mut members: Vec<Membership> = ["a", "b", "c", "d"]
         .into_iter()
         .zip(1..)
         .map(|(name, seed)| member(name, seed))
@@ -90,7 +90,7 @@
         let mut queue: VecDeque<(usize, Output)> = VecDeque::new();
         for (at, member) in members.iter_mut().enumerate() {
             let mut out = Vec::new();
-            if member.next() <= now {
+            if member.next_expiry() <= now {
                 member.expire(now, &mut out);
             }
             queue.extend(out.into_iter().map(|output| (at, output)));
@@ -108,7 +108,7 @@
             if !deaf {
                 let from = members[from].address().to_owned();
                 let mut out = Vec::new();
-                members[to].hear(now, &from, &bytes, &mut out);
+                members[to].receive(now, &from, &bytes, &mut out);
                 queue.extend(out.into_iter().map(|output| (to, output)));
             }
         }
@@ -139,7 +139,7 @@
 }
 
 /// A member that knows nobody and reads this datagram, and what it writes for it.
-fn reader(bytes: &[u8]) -> (Peers, Vec<Vec<u8>>) {
+fn reader(bytes: &[u8]) -> (Membership, Vec<Vec<u8>>) {
     let head_ends = HEADER + 3 + usize::from(bytes[HEADER + 1]);
     let (name, seed) = match bytes[head_ends - 1] {
         b'a' => ("a", 1),
@@ -149,7 +149,7 @@
         _ => ("e", 5),
     };
     let (mut reader, mut out) = (member(name, seed), Vec::new());
-    reader.hear(0, "10.0.0.9:7", bytes, &mut out);
+    reader.receive(0, "10.0.0.9:7", bytes, &mut out);
     (reader, out.into_iter().filter_map(datagram).collect())
 }
 
@@ -219,7 +219,7 @@
         .find(|(name, ..)| *name == "gossip")
         .expect("it is there");
     let (mut reader, _) = reader(&bytes(gossip));
-    reader.hear(0, "10.0.0.1:7", &leave, &mut Vec::new());
+    reader.receive(0, "10.0.0.1:7", &leave, &mut Vec::new());
     let states: Vec<(String, u8)> = reader
         .members()
         .into_iter()
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -8,7 +8,7 @@
 
 /// Why no message came.
 #[derive(Debug)]
-pub enum Fault {
+pub enum ExchangeError {
     /// The connection ended before the first byte of it.
     Closed,
     /// The connection broke in the midst of it.
@@ -17,24 +17,24 @@
     Bad(Bad),
 }
 
-impl From<Bad> for Fault {
-    fn from(bad: Bad) -> Fault {
-        Fault::Bad(bad)
+impl From<Bad> for ExchangeError {
+    fn from(bad: Bad) -> ExchangeError {
+        ExchangeError::Bad(bad)
     }
 }
 
-impl std::fmt::Display for Fault {
+impl std::fmt::Display for ExchangeError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            Fault::Closed => f.write_str("closed"),
-            Fault::Broken => f.write_str("broken"),
-            Fault::Bad(bad) => write!(f, "malformed: {bad}"),
+            ExchangeError::Closed => f.write_str("closed"),
+            ExchangeError::Broken => f.write_str("broken"),
+            ExchangeError::Bad(bad) => write!(f, "malformed: {bad}"),
         }
     }
 }
 
 /// A connection that carries HTTP, and what was read beyond the last message.
-pub struct Wire {
+pub struct HttpExchange {
     /// The connection.
     pub socket: Arc<Socket>,
     buffer: Vec<u8>,
@@ -43,10 +43,10 @@
 /// Bytes asked of the kernel at once.
 const PIECE: usize = 2048;
 
-impl Wire {
+impl HttpExchange {
     /// A connection on which nothing was read.
-    pub fn new(socket: Arc<Socket>) -> Wire {
-        Wire {
+    pub fn new(socket: Arc<Socket>) -> HttpExchange {
+        HttpExchange {
             socket,
             buffer: Vec::new(),
         }
@@ -62,11 +62,11 @@
         self.buffer.is_empty()
     }
 
-    fn more(&mut self) -> Result<(), Fault> {
+    fn more(&mut self) -> Result<(), ExchangeError> {
         let mut piece = [0u8; PIECE];
         match self.socket.read(&mut piece) {
-            Ok(0) | Err(_) if self.buffer.is_empty() => Err(Fault::Closed),
-            Ok(0) | Err(_) => Err(Fault::Broken),
+            Ok(0) | Err(_) if self.buffer.is_empty() => Err(ExchangeError::Closed),
+            Ok(0) | Err(_) => Err(ExchangeError::Broken),
             Ok(n) => {
                 self.buffer.extend_from_slice(&piece[..n]);
                 Ok(())
@@ -78,7 +78,7 @@
     ///
     /// # Errors
     /// None came.
-    pub fn request_head(&mut self, within: u64) -> Result<Request, Fault> {
+    pub fn request_head(&mut self, within: u64) -> Result<Request, ExchangeError> {
         loop {
             if let Some((request, length)) = Request::parse(&self.buffer)? {
                 self.buffer.drain(..length);
@@ -96,7 +96,7 @@
     ///
     /// # Errors
     /// None came.
-    pub fn request(&mut self, most: u64, within: u64) -> Result<(Request, Vec<u8>), Fault> {
+    pub fn request(&mut self, most: u64, within: u64) -> Result<(Request, Vec<u8>), ExchangeError> {
         let request = self.request_head(within)?;
         let body = Body::new(request.framing()?, most)?;
         let data = self.body(body)?;
@@ -110,7 +110,7 @@
     ///
     /// # Errors
     /// None came.
-    pub fn response_head(&mut self) -> Result<Response, Fault> {
+    pub fn response_head(&mut self) -> Result<Response, ExchangeError> {
         loop {
             if let Some((response, length)) = Response::parse(&self.buffer)? {
                 self.buffer.drain(..length);
@@ -127,14 +127,14 @@
     ///
     /// # Errors
     /// None came.
-    pub fn response(&mut self, most: u64) -> Result<(Response, Vec<u8>), Fault> {
+    pub fn response(&mut self, most: u64) -> Result<(Response, Vec<u8>), ExchangeError> {
         let response = self.response_head()?;
         let body = Body::new(response.framing()?, most)?;
         let data = self.body(body)?;
         Ok((response, data))
     }
 
-    fn body(&mut self, mut body: Body) -> Result<Vec<u8>, Fault> {
+    fn body(&mut self, mut body: Body) -> Result<Vec<u8>, ExchangeError> {
         let mut data = Vec::new();
         loop {
             let taken = body.feed(&self.buffer, &mut data)?;
@@ -145,7 +145,7 @@
             match self.more() {
                 Ok(()) => {}
                 Err(_) if body.may_close() => return Ok(data),
-                Err(_) => return Err(Fault::Broken),
+                Err(_) => return Err(ExchangeError::Broken),
             }
         }
     }
@@ -154,7 +154,7 @@
     ///
     /// # Errors
     /// It broke off, after so many bytes.
-    pub fn drain_body(&mut self, framing: Framing) -> Result<u64, (u64, Fault)> {
+    pub fn drain_body(&mut self, framing: Framing) -> Result<u64, (u64, ExchangeError)> {
         let mut body = Body::new(framing, u64::MAX).map_err(|b| (0, b.into()))?;
         let (mut data, mut count) = (Vec::new(), 0);
         loop {
@@ -181,7 +181,7 @@
     ///
     /// # Errors
     /// Its body is framed in an unknown way.
-    pub fn events(self, head: &Response, silence: u64) -> Result<Events, Fault> {
+    pub fn events(self, head: &Response, silence: u64) -> Result<Events, ExchangeError> {
         let body = Body::new(head.framing()?, u64::MAX)?;
         Ok(Events {
             wire: self,
@@ -195,7 +195,7 @@
 
 /// A stream of server-sent events.
 pub struct Events {
-    wire: Wire,
+    wire: HttpExchange,
     body: Body,
     reader: Reader,
     ready: std::vec::IntoIter<Event>,
@@ -208,7 +208,7 @@
     /// # Errors
     /// The stream ended, broke or is malformed.
     #[allow(clippy::should_implement_trait)]
-    pub fn next(&mut self) -> Result<Event, Fault> {
+    pub fn next(&mut self) -> Result<Event, ExchangeError> {
         loop {
             if let Some(event) = self.ready.next() {
                 return Ok(event);
@@ -218,11 +218,11 @@
             self.wire.buffer.drain(..taken);
             self.reader
                 .feed(&data, &mut events)
-                .map_err(|e| Fault::Bad(Bad::request(e)))?;
+                .map_err(|e| ExchangeError::Bad(Bad::request(e)))?;
             self.ready = events.into_iter();
             if self.ready.len() == 0 {
                 if self.body.done() {
-                    return Err(Fault::Closed);
+                    return Err(ExchangeError::Closed);
                 }
                 self.wire.socket.set_expiry(after(self.silence));
                 self.wire.more()?;
--- a/crates/net/src/sweep.rs
+++ b/crates/net/src/idle_sweep.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 /// Watches sockets; when it is dropped it stops.
-pub struct Sweeper {
+pub struct IdleSweeper {
     sockets: Arc<Mutex<Vec<Weak<Socket>>>>,
 }
 
-impl Sweeper {
+impl IdleSweeper {
     /// Looks at the sockets so often; ends are late by as much.
-    pub fn start(every: Duration) -> Sweeper {
+    pub fn start(every: Duration) -> IdleSweeper {
         let sockets: Arc<Mutex<Vec<Weak<Socket>>>> = Arc::default();
         let watched = Arc::downgrade(&sockets);
         spawn(Stack::Usual, move || {
@@ -19,7 +19,7 @@
                 let alive = |socket: &Weak<Socket>| match socket.upgrade() {
                     Some(socket) => {
                         socket.expire(now);
-                        !socket.is_shut()
+                        !socket.is_closed()
                     }
                     None => false,
                 };
@@ -32,7 +32,7 @@
                 sleep(every);
             }
         });
-        Sweeper { sockets }
+        IdleSweeper { sockets }
     }
 
     /// Watches a socket from now on.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,12 +6,12 @@
 #![warn(missing_docs)]
 pub mod clock;
 pub mod exchange;
-mod outbox;
+mod idle_sweep;
 mod runtime;
 mod socket;
-mod sweep;
+mod write_buffer;
 
-pub use outbox::Outbox;
-pub use runtime::{catch_up, recv_until, sleep, spawn, start, take, Stack};
-pub use socket::{accept_each, accept_while_room, listen, Peer, Socket};
-pub use sweep::Sweeper;
+pub use idle_sweep::IdleSweeper;
+pub use runtime::{drain_after_stall, drain_queue, recv_until, sleep, spawn, start, Stack};
+pub use socket::{accept_each, accept_while_capacity, listen, Peer, Socket};
+pub use write_buffer::WriteBuffer;
--- a/crates/net/src/runtime.rs
+++ b/crates/net/src/runtime.rs
@@ -80,7 +80,7 @@
 }
 
 /// Hands messages that are there to `hear`, `most` at most; how many there were.
-pub fn take<T>(receiver: &Receiver<T>, most: usize, mut hear: impl FnMut(T)) -> usize {
+pub fn drain_queue<T>(receiver: &Receiver<T>, most: usize, mut hear: impl FnMut(T)) -> usize {
     let mut count = 0;
     while let Some(message) = (count < most).then(|| receiver.try_recv().ok()).flatten() {
         hear(message);
@@ -100,7 +100,7 @@
 /// sockets. They are read first.
 ///
 /// `more` hears what lies in the queue and says whether there may be more.
-pub fn catch_up(due: u64, mut more: impl FnMut() -> bool) -> bool {
+pub fn drain_after_stall(due: u64, mut more: impl FnMut() -> bool) -> bool {
     let stood = clock::now() > due.saturating_add(STALL);
     if stood {
         sleep(CATCH_UP);
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -143,7 +143,7 @@
             match again(|| self.tcp.inner().write(&bytes[at..])) {
                 Ok(Some(0)) => return Err((at, ErrorKind::WriteZero.into())),
                 Ok(Some(n)) => at += n,
-                Ok(None) if self.is_shut() => return Err((at, ErrorKind::BrokenPipe.into())),
+                Ok(None) if self.is_closed() => return Err((at, ErrorKind::BrokenPipe.into())),
                 Ok(None) => self.wait(),
                 Err(e) => return Err((at, e)),
             }
@@ -162,7 +162,7 @@
     }
 
     /// Ends the connection both ways; who reads finds its end.
-    pub fn shut(&self) {
+    pub fn close(&self) {
         self.shut.store(true, Ordering::Release);
         let _ = self.tcp.shutdown(Shutdown::Both); // Already gone is as good.
         self.wake();
@@ -175,23 +175,23 @@
         self.set_expiry(after(within));
         let mut piece = [0u8; 512];
         while matches!(self.read(&mut piece), Ok(n) if n > 0) {}
-        self.shut();
+        self.close();
     }
 
     /// Whether [`Socket::shut`] was called.
-    pub fn is_shut(&self) -> bool {
+    pub fn is_closed(&self) -> bool {
         self.shut.load(Ordering::Acquire)
     }
 
     /// Whether an idle connection can carry a request: not closed, nothing unread.
     pub fn is_idle(&self) -> bool {
-        !self.is_shut() && matches!(self.peek(), Ok(None))
+        !self.is_closed() && matches!(self.peek(), Ok(None))
     }
 
     /// What the kernel knows of the peer, without reading.
     pub fn peer_state(&self) -> Peer {
         match self.peek() {
-            _ if self.is_shut() => Peer::Ended,
+            _ if self.is_closed() => Peer::Ended,
             Ok(None) => Peer::Quiet,
             Ok(Some(1)) => Peer::Unread,
             Ok(_) | Err(_) => Peer::Ended,
@@ -219,7 +219,7 @@
     /// Ends the connection and throws away what the kernel has not sent yet, as far as it can.
     pub fn reset(&self) {
         let _ = socket2::SockRef::from(self.tcp.inner()).set_linger(Some(Duration::ZERO)); // Else it is only closed.
-        self.shut();
+        self.close();
     }
 
     /// Whether a connection that is read elsewhere is still up, as far as the kernel knows.
@@ -244,8 +244,8 @@
     /// where a core was shared by fifty); the close would lose it, and with a reset. So what is unread is left to who reads: he
     /// asks [`Socket::is_expired`] when it was not what he waits for.
     pub fn expire(&self, now: u64) {
-        if self.is_expired(now) && !self.is_shut() && !self.has_unread() {
-            self.shut();
+        if self.is_expired(now) && !self.is_closed() && !self.has_unread() {
+            self.close();
         }
     }
 
@@ -337,12 +337,12 @@
     until: Arc<AtomicBool>,
     each: impl Fn(Socket) + Send + Sync + 'static,
 ) {
-    accept_while_room(listener, until, || Some(()), move |socket, ()| each(socket));
+    accept_while_capacity(listener, until, || Some(()), move |socket, ()| each(socket));
 }
 
 /// The same, but only while there is `room`, which is asked before each; what comes meanwhile waits with the kernel. What
 /// `room` gives stands for the place taken, from before the connection is accepted until `each` drops it.
-pub fn accept_while_room<P: Send + 'static>(
+pub fn accept_while_capacity<P: Send + 'static>(
     listener: TcpListener,
     until: Arc<AtomicBool>,
     room: impl Fn() -> Option<P> + Send + 'static,
--- a/crates/net/src/outbox.rs
+++ b/crates/net/src/write_buffer.rs
@@ -5,16 +5,16 @@
 
 /// Bytes for one socket. Danger: a peer that never reads would fill the memory; over the bound it is cut. Harm: a
 /// slow but honest peer is cut too if it falls behind by more.
-pub struct Outbox {
+pub struct WriteBuffer {
     socket: Arc<Socket>,
     most: usize,
     pending: Mutex<Vec<u8>>,
 }
 
-impl Outbox {
+impl WriteBuffer {
     /// An outbox in which at most `most` bytes wait.
-    pub fn new(socket: Arc<Socket>, most: usize) -> Outbox {
-        Outbox {
+    pub fn new(socket: Arc<Socket>, most: usize) -> WriteBuffer {
+        WriteBuffer {
             socket,
             most,
             pending: Mutex::new(Vec::new()),
@@ -34,7 +34,7 @@
             .is_empty()
     }
 
-    /// Sends, or keeps what the kernel does not take for [`Outbox::flush`]. Never waits. False if the peer was cut; no byte of
+    /// Sends, or keeps what the kernel does not take for [`WriteBuffer::flush`]. Never waits. False if the peer was cut; no byte of
     /// a message that is shorter than what may wait has gone out then.
     pub fn push(&self, bytes: &[u8]) -> bool {
         // The lock is held over calls that do not wait.
@@ -54,7 +54,7 @@
         if cut {
             *pending = Vec::new();
             drop(pending);
-            self.socket.shut();
+            self.socket.close();
         }
         !cut
     }
--- a/crates/node-protocol/src/lib.rs
+++ b/crates/node-protocol/src/lib.rs
@@ -13,12 +13,12 @@
 #![warn(missing_docs)]
 pub mod config;
 pub mod directory;
-mod held;
+mod receive_buffer;
 pub mod rtsp;
 mod tag;
 pub mod viewers;
 
-pub use held::Held;
+pub use receive_buffer::ReceiveBuffer;
 pub use tag::Tag;
 
 /// No message is longer, in bytes.
--- a/crates/node-protocol/src/held.rs
+++ b/crates/node-protocol/src/receive_buffer.rs
@@ -2,9 +2,9 @@
 
 /// What is held of a stream; empty, it holds no memory.
 #[derive(Debug, Default)]
-pub struct Held(Vec<u8>);
+pub struct ReceiveBuffer(Vec<u8>);
 
-impl Held {
+impl ReceiveBuffer {
     /// Hands what is held and what came to `take` until it takes nothing more, and holds the rest. `take` says how many
     /// bytes it took; 0: more must come first.
     pub(crate) fn feed<E>(
--- a/crates/node-protocol/src/rtsp.rs
+++ b/crates/node-protocol/src/rtsp.rs
@@ -1,5 +1,5 @@
 //! Servers: RTSP messages, each with its `Content-Length`.
-use crate::{Held, Tag, MOST};
+use crate::{ReceiveBuffer, Tag, MOST};
 use std::fmt::{self, Write};
 
 /// Sequence numbers that the protocol fixes.
@@ -125,7 +125,7 @@
 
 /// Reads what a server's connection gives.
 #[derive(Debug, Default)]
-pub struct Decoder(Held);
+pub struct Decoder(ReceiveBuffer);
 
 impl Decoder {
     /// Takes bytes and adds the messages that are whole now to `out`.
@@ -143,7 +143,7 @@
     }
 
     /// Whether a message has begun and is not whole.
-    pub fn is_amid(&self) -> bool {
+    pub fn has_partial_message(&self) -> bool {
         !self.0.is_empty()
     }
 }
@@ -294,7 +294,7 @@
 }
 
 /// A set-up is given up.
-pub fn give_up(tag: Tag) -> Vec<u8> {
+pub fn cancel(tag: Tag) -> Vec<u8> {
     end(
         request("TEARDOWN", tag.as_str(), cseq::TEAR_DOWN, Some(tag)),
         "",
@@ -321,7 +321,7 @@
 }
 
 /// A request of a server was heard.
-pub fn heard(cseq: u32, tag: Option<Tag>) -> Vec<u8> {
+pub fn acknowledge(cseq: u32, tag: Option<Tag>) -> Vec<u8> {
     let mut text = format!("RTSP/1.0 200 OK\r\nCSeq: {cseq}\r\n");
     if let Some(tag) = tag {
         let _ = write!(text, "Session: {tag}\r\n");
--- a/crates/node-protocol/src/viewers.rs
+++ b/crates/node-protocol/src/viewers.rs
@@ -1,5 +1,5 @@
 //! Viewers: one JSON object a line.
-use crate::{Held, Tag, MOST};
+use crate::{ReceiveBuffer, Tag, MOST};
 use serde::Deserialize;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
@@ -39,7 +39,7 @@
     }
 }
 
-/// A set-up as it was sent. Its figures are looked at by [`SetUp::ask`], so that one that is wrong in them can be
+/// A set-up as it was sent. Its figures are looked at by [`SetUp::set_up_params`], so that one that is wrong in them can be
 /// answered by its tag.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SetUp {
@@ -84,7 +84,7 @@
 
 /// Reads what a viewer's connection gives.
 #[derive(Debug, Default)]
-pub struct Decoder(Held);
+pub struct Decoder(ReceiveBuffer);
 
 impl Decoder {
     /// Takes bytes and adds the messages that are whole now to `out`.
@@ -107,7 +107,7 @@
     }
 
     /// Whether a message has begun and is not whole.
-    pub fn is_amid(&self) -> bool {
+    pub fn has_partial_message(&self) -> bool {
         !self.0.is_empty()
     }
 }
@@ -156,7 +156,7 @@
 
 /// What a set-up asks for, in numbers; the names are looked up by who knows them.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Ask {
+pub struct SetUpParams {
     /// Name of the class.
     pub class: String,
     /// Name of the tenant, where there are tenants.
@@ -190,13 +190,13 @@
     ///
     /// # Errors
     /// A field is missing or out of range: its name.
-    pub fn ask(&self) -> Result<Ask, &'static str> {
+    pub fn set_up_params(&self) -> Result<SetUpParams, &'static str> {
         let opt = |name| self.opts.get(name).map(String::as_str);
-        let mut ask = Ask {
+        let mut ask = SetUpParams {
             class: opt("class").ok_or("class")?.to_owned(),
             tenant: opt("tenant").map(str::to_owned),
             again: flag(opt("retry")).ok_or("retry")?,
-            ..Ask::default()
+            ..SetUpParams::default()
         };
         if let Some(hint) = opt("hint") {
             let hint = hint
--- a/crates/node-protocol/tests/codecs.rs
+++ b/crates/node-protocol/tests/codecs.rs
@@ -49,11 +49,11 @@
 
 const EXTRAS: &str = "home:4;copies:3;top:4;viewer:00000000b4d65521";
 
-fn ask(extras: &str, left: &str) -> Result<viewers::Ask, &'static str> {
+fn ask(extras: &str, left: &str) -> Result<viewers::SetUpParams, &'static str> {
     let (messages, fault) = viewers_said(&start(1, extras, left, "x"), &[MOST]);
     assert_eq!(fault, None);
     match messages.as_slice() {
-        [Message::Start(start)] => start.ask(),
+        [Message::Start(start)] => start.set_up_params(),
         other => panic!("{other:?}"),
     }
 }
@@ -195,8 +195,8 @@
          X-Patience: 1500\r\nRate-Step: 3\r\nContent-Length: 25\r\n\r\n9d41\r\nc=IN IP4 10.4.7.9\r\n"
     );
     let text = |bytes: Vec<u8>| String::from_utf8(bytes).expect("text");
-    assert!(text(rtsp::give_up(tag(1))).starts_with("TEARDOWN rtsp://media/"));
-    assert!(!text(rtsp::give_up(tag(1))).contains("Reason"));
+    assert!(text(rtsp::cancel(tag(1))).starts_with("TEARDOWN rtsp://media/"));
+    assert!(!text(rtsp::cancel(tag(1))).contains("Reason"));
     assert!(text(rtsp::release(tag(1), 16)).contains("\r\nReason: cause=16\r\n"));
     assert!(text(rtsp::rate(tag(1), 2)).contains("\r\nRate-Step: 2\r\n"));
 }
@@ -228,10 +228,7 @@
     assert_eq!(messages[0].note(), Some(("link_use", 0.925)));
     let bytes = rtsp::release(tag(3), 41);
     assert_eq!(servers_said(&bytes, &[1]).0[0].cause(), Some(41));
-    assert_eq!(
-        servers_said(&rtsp::give_up(tag(3)), &[1]).0[0].cause(),
-        None
-    );
+    assert_eq!(servers_said(&rtsp::cancel(tag(3)), &[1]).0[0].cause(), None);
 }
 
 #[test]
--- a/crates/node-protocol/tests/wire_text.rs
+++ b/crates/node-protocol/tests/wire_text.rs
@@ -57,12 +57,12 @@
         ("set-up without body", rtsp::set_up(&rtsp::SetUp {
             tag: tag(), title: "7f3a9c21e0b4d655", class: "paid", patience: 0, rung: 0, blob: "",
         }), "SETUP rtsp://media/7f3a9c21e0b4d655 RTSP/1.0\r\nCSeq: 1\r\nSession: 00000000000000aB\r\nSubject: paid\r\nX-Patience: 0\r\nRate-Step: 0\r\nContent-Length: 0\r\n\r\n"),
-        ("give-up", rtsp::give_up(tag()), "TEARDOWN rtsp://media/00000000000000aB RTSP/1.0\r\nCSeq: 2\r\nSession: 00000000000000aB\r\nContent-Length: 0\r\n\r\n"),
+        ("give-up", rtsp::cancel(tag()), "TEARDOWN rtsp://media/00000000000000aB RTSP/1.0\r\nCSeq: 2\r\nSession: 00000000000000aB\r\nContent-Length: 0\r\n\r\n"),
         ("release", rtsp::release(tag(), 16), "TEARDOWN rtsp://media/00000000000000aB RTSP/1.0\r\nCSeq: 2\r\nSession: 00000000000000aB\r\nReason: cause=16\r\nContent-Length: 0\r\n\r\n"),
         ("rate", rtsp::rate(tag(), 2), "SET_PARAMETER rtsp://media/00000000000000aB RTSP/1.0\r\nCSeq: 4\r\nSession: 00000000000000aB\r\nRate-Step: 2\r\nContent-Length: 0\r\n\r\n"),
         ("probe", rtsp::probe(tag()), "OPTIONS rtsp://media/load RTSP/1.0\r\nCSeq: 3\r\nSession: 00000000000000aB\r\nContent-Length: 0\r\n\r\n"),
-        ("heard", rtsp::heard(9, Some(tag())), "RTSP/1.0 200 OK\r\nCSeq: 9\r\nSession: 00000000000000aB\r\nContent-Length: 0\r\n\r\n"),
-        ("heard without session", rtsp::heard(9, None), "RTSP/1.0 200 OK\r\nCSeq: 9\r\nContent-Length: 0\r\n\r\n"),
+        ("heard", rtsp::acknowledge(9, Some(tag())), "RTSP/1.0 200 OK\r\nCSeq: 9\r\nSession: 00000000000000aB\r\nContent-Length: 0\r\n\r\n"),
+        ("heard without session", rtsp::acknowledge(9, None), "RTSP/1.0 200 OK\r\nCSeq: 9\r\nContent-Length: 0\r\n\r\n"),
     ];
     for (name, bytes, expected) in table {
         assert_eq!(String::from_utf8(bytes).expect("text"), expected, "{name}");
@@ -132,7 +132,7 @@
     };
     assert_eq!((start.tag, start.blob.as_deref()), (tag(), Some("v=0\r\n")));
     assert_eq!(start.opts["left"], "1500");
-    let ask = start.ask().expect("in range");
+    let ask = start.set_up_params().expect("in range");
     assert_eq!(
         (ask.class.as_str(), ask.tenant.as_deref(), ask.left),
         ("paid", Some("t1"), 1500)
--- a/crates/node/src/crowd.rs
+++ b/crates/node/src/connection_table.rs
@@ -1,5 +1,5 @@
 //! Viewers' connections as all see them, and which of them is of least use when there are too many.
-use crankpaddle_net::{clock, Outbox};
+use crankpaddle_net::{clock, WriteBuffer};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -11,7 +11,7 @@
 /// A viewer's connection as all see it, and what is owed on it: [`Conn::owes`].
 pub(crate) struct Conn {
     pub id: ConnId,
-    pub outbox: Outbox,
+    pub outbox: WriteBuffer,
     /// Messages that were read and that the hub has not heard yet.
     pub unheard: AtomicUsize,
     /// Set-ups on it that were heard and wait for an answer.
@@ -27,7 +27,7 @@
 }
 
 impl Conn {
-    pub(crate) fn new(id: ConnId, outbox: Outbox, now: u64) -> Conn {
+    pub(crate) fn new(id: ConnId, outbox: WriteBuffer, now: u64) -> Conn {
         Conn {
             id,
             outbox,
@@ -65,7 +65,7 @@
     pub(crate) fn owes(&self, now: u64, unread: bool) -> bool {
         let answers = now < self.owed_until.load(Ordering::Relaxed) && !self.outbox.is_empty();
         let open = self.open.load(Ordering::Acquire) > 0;
-        !self.outbox.socket().is_shut()
+        !self.outbox.socket().is_closed()
             && (open || answers || unread && (self.is_asked() || self.is_unread()))
     }
 
@@ -157,11 +157,11 @@
     /// the close of a connection is sent again by its viewer, so one that was idle for long goes before one that just spoke.
     fn shed(&self) {
         let conns = self.conns();
-        if conns.values().any(|c| c.outbox.socket().is_shut()) {
+        if conns.values().any(|c| c.outbox.socket().is_closed()) {
             return;
         }
         let now = clock::now();
-        let idle = |c: &&Arc<Conn>| !c.owes(now, true) && !c.outbox.socket().is_shut();
+        let idle = |c: &&Arc<Conn>| !c.owes(now, true) && !c.outbox.socket().is_closed();
         let use_of = |c: &&Arc<Conn>| {
             (
                 c.spoke.load(Ordering::Relaxed),
@@ -169,7 +169,7 @@
             )
         };
         if let Some(conn) = conns.values().filter(idle).min_by_key(use_of) {
-            conn.outbox.socket().shut();
+            conn.outbox.socket().close();
         }
     }
 }
--- a/crates/node/src/crowd/tests.rs
+++ b/crates/node/src/connection_table/tests.rs
@@ -16,7 +16,7 @@
         .expect("somebody listens");
     let conn = Arc::new(Conn::new(
         ConnId(id),
-        Outbox::new(Arc::new(socket), 1024),
+        WriteBuffer::new(Arc::new(socket), 1024),
         id,
     ));
     conn.spoke.store(spoke, Ordering::Relaxed);
@@ -32,7 +32,7 @@
         [(1, true), (2, false), (3, false)].map(|(id, spoke)| conn(&viewers, &listener, id, spoke));
     let shut = || {
         all.iter()
-            .map(|c| c.outbox.socket().is_shut())
+            .map(|c| c.outbox.socket().is_closed())
             .collect::<Vec<_>>()
     };
     viewers.shed();
@@ -67,7 +67,7 @@
 fn what_is_unread_unheard_unanswered_or_unsent_is_owed_and_nothing_else() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let (socket, mut peer) = pair(&listener);
-    let conn = Conn::new(ConnId(1), Outbox::new(socket.clone(), 64 << 20), 0);
+    let conn = Conn::new(ConnId(1), WriteBuffer::new(socket.clone(), 64 << 20), 0);
     assert!(!conn.owes(5, true));
     conn.unheard.store(1, Ordering::Relaxed);
     assert!(
@@ -112,20 +112,24 @@
 fn who_has_said_something_that_is_not_read_or_heard_is_not_closed() {
     let (viewers, listener) = (Viewers::new(1), TcpListener::bind("127.0.0.1:0").unwrap());
     let (socket, mut peer) = pair(&listener);
-    let conn = Arc::new(Conn::new(ConnId(1), Outbox::new(socket.clone(), 1024), 0));
+    let conn = Arc::new(Conn::new(
+        ConnId(1),
+        WriteBuffer::new(socket.clone(), 1024),
+        0,
+    ));
     viewers.enter(&conn);
     peer.write_all(b"{").unwrap();
     socket.set_expiry(1);
     socket.expire(2);
     viewers.shed();
-    assert!(!socket.is_shut(), "it lies unread");
+    assert!(!socket.is_closed(), "it lies unread");
     assert_eq!(socket.try_read(&mut [0u8; 8]).unwrap(), Some(1));
     conn.unheard.store(1, Ordering::Relaxed);
     viewers.shed();
-    assert!(!socket.is_shut(), "it lies unheard");
+    assert!(!socket.is_closed(), "it lies unheard");
     conn.unheard.store(0, Ordering::Relaxed);
     socket.expire(2);
-    assert!(socket.is_shut(), "nothing is owed, and its time has come");
+    assert!(socket.is_closed(), "nothing is owed, and its time has come");
 }
 
 /// A message that began while a set-up waits for its answer on the same connection.
@@ -133,7 +137,7 @@
 fn a_message_that_is_not_whole_in_time_takes_no_set_up_with_it() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let (socket, _peer) = pair(&listener);
-    let conn = Conn::new(ConnId(1), Outbox::new(socket, 1024), 0);
+    let conn = Conn::new(ConnId(1), WriteBuffer::new(socket, 1024), 0);
     conn.owe_until(100);
     assert_eq!(conn.whole_by(5, 10), 15);
     conn.open.store(1, Ordering::Relaxed);
--- a/crates/node/src/hub/leave.rs
+++ b/crates/node/src/event_loop/attempt_dispatch.rs
@@ -4,8 +4,8 @@
 //! all that was heard has been decided on, each looked at right before: whether its viewer still waits, as far as the kernel
 //! knows, and whether the module still lets it go.
 use super::{
-    clock, rtsp, AttemptId, Hub, Input, LinkId, Live, Order, Ordering, Outcome, Peer, Report,
-    ServerId, SetUp, Tag, Time, MILLISECOND, MOST_LINKS, MOST_TRIES,
+    clock, rtsp, AttemptId, AttemptOutcome, EventLoop, Input, LinkId, Live, LoadReport, Ordering,
+    Peer, ServerId, SetUpOrder, SetUpResult, Tag, Time, MILLISECOND, MOST_LINKS, MOST_TRIES,
 };
 
 /// An attempt that is to leave.
@@ -30,12 +30,12 @@
     IsTakenBack,
 }
 
-impl Hub {
+impl EventLoop {
     pub(super) fn set_up(
         &mut self,
         attempt: AttemptId,
         server: ServerId,
-        order: &Order,
+        order: &SetUpOrder,
         until: Time,
     ) {
         let player = Tag::parse(&order.key).and_then(|tag| self.tags.get(&tag).copied());
@@ -44,9 +44,9 @@
             return;
         };
         let Some(at) = self.servers.get_mut(&server) else {
-            return self.tell_core(Input::SetUp(
+            return self.tell_core(Input::SetUpCompleted(
                 attempt,
-                SetUp::Ended(Outcome::Moot, Report::new()),
+                SetUpResult::Ended(AttemptOutcome::NotSent, LoadReport::new()),
             ));
         };
         let tag = session.tag;
@@ -95,7 +95,7 @@
                 Some(Next::IsHeld) => self.leaving.push_back(ready),
                 Some(Next::IsTakenBack) => {
                     tracing::debug!(attempt = ready.attempt.0, "taken back before it left");
-                    self.set_up_ended(ready.attempt, Outcome::Moot, Report::new());
+                    self.set_up_ended(ready.attempt, AttemptOutcome::NotSent, LoadReport::new());
                 }
             }
         }
@@ -104,7 +104,7 @@
     fn next(&self, ready: &Leaving) -> Option<Next> {
         let live = self.live.get(&ready.attempt).filter(|l| l.sent.is_none())?;
         let now = clock::now();
-        if !self.core.may_leave(Time(now), ready.attempt) {
+        if !self.core.may_send(Time(now), ready.attempt) {
             return Some(Next::IsTakenBack);
         }
         let conn = self.conns.get(&self.sessions.get(&live.player)?.conn)?;
@@ -129,7 +129,7 @@
         let server = live.server;
         live.tries += 1;
         if live.tries > MOST_TRIES {
-            return self.set_up_ended(attempt, Outcome::ConnectFailed, Report::new());
+            return self.set_up_ended(attempt, AttemptOutcome::ConnectFailed, LoadReport::new());
         }
         // Each set-up has a connection of its own while there are enough: a spoilt answer then spoils no other. The one
         // used last and free; else a new one; else one that is shared.
@@ -165,12 +165,12 @@
                 .map_or((false, usize::MAX), |l| (l.is_connecting(), l.open.len()))
         };
         let Some(least) = links.into_iter().filter(takes).min_by_key(load) else {
-            return self.set_up_ended(attempt, Outcome::ConnectFailed, Report::new());
+            return self.set_up_ended(attempt, AttemptOutcome::ConnectFailed, LoadReport::new());
         };
         if load(&least).0 {
             self.wait_for(attempt, least);
         } else if !self.write_set_up(attempt, least) {
-            self.set_up_ended(attempt, Outcome::ConnectFailed, Report::new());
+            self.set_up_ended(attempt, AttemptOutcome::ConnectFailed, LoadReport::new());
             self.link_down(least);
         }
     }
--- a/crates/node/src/hub/callers.rs
+++ b/crates/node/src/event_loop/client_requests.rs
@@ -1,11 +1,11 @@
 //! What viewers say and are told.
 use super::{
-    cause, clock, count, viewers, Answer, Ask, Call, ConnId, Hub, Input, Message, Notice, Open,
-    Ordering, OverReason, PlayerId, Refusal, Session, Tag, Time, LEFT_SLACK, MILLISECOND,
-    RELEASE_FOR,
+    cause, clock, count, viewers, Answer, Call, ConnId, EventLoop, Input, Message, Notification,
+    OpenRequest, Ordering, PlayerId, RejectReason, Session, SessionEndReason, SetUpParams, Tag,
+    Time, LEFT_SLACK, MILLISECOND, RELEASE_FOR,
 };
 
-impl Hub {
+impl EventLoop {
     pub(super) fn viewer(&mut self, conn: ConnId, message: Message, read: u64) {
         match message {
             Message::Start(start) => self.start(conn, &start, read),
@@ -18,7 +18,7 @@
     pub(super) fn start(&mut self, conn: ConnId, start: &viewers::SetUp, read: u64) {
         let tag = start.tag;
         let ask = start
-            .ask()
+            .set_up_params()
             .and_then(|ask| self.open(tag, &ask).map(|open| (ask, open)));
         if self.tags.contains_key(&tag) {
             // One that is adopted may name what is held. Else: danger, an answer by this id would be taken for that of
@@ -64,12 +64,12 @@
         };
         if of.open.load(Ordering::Relaxed) >= self.shared.budget.open_per_connection {
             count(&self.shared.shed.crowded);
-            let advice = self.shared.config.fleet.settings.stay_away_cap;
+            let advice = self.shared.config.fleet.settings.max_retry_after;
             self.say(conn, &viewers::finish(tag, cause::CONGESTION, wait(advice)));
             return;
         }
         of.open.fetch_add(1, Ordering::AcqRel);
-        of.owe_until(read.saturating_add(open.give_up));
+        of.owe_until(read.saturating_add(open.max_wait));
         tracing::trace!(%tag, conn = conn.0, ask = ?start.opts, "asked");
         let player = self.enter(session);
         let call = Call { player, number: 0 };
@@ -90,7 +90,7 @@
     }
 
     /// A set-up in the core's terms, or the field that is out of range.
-    pub(super) fn open(&self, tag: Tag, ask: &Ask) -> Result<Open, &'static str> {
+    pub(super) fn open(&self, tag: Tag, ask: &SetUpParams) -> Result<OpenRequest, &'static str> {
         let fleet = &self.shared.config.fleet;
         let class = fleet
             .classes
@@ -121,19 +121,19 @@
         if usize::from(ask.top) >= settings.rung_kb.len() {
             return Err("top");
         }
-        Ok(Open {
+        Ok(OpenRequest {
             key: tag.as_str().to_owned(),
             viewer: ask.viewer,
             class: class as u8,
             tenant: tenant as u16,
             title: ask.title,
             first_cell: ask.home,
-            copies: ask.copies,
-            top: ask.top,
-            give_up: patience,
-            hint: ask.hint.map(|ms| (ms * MILLISECOND as f64) as u64),
-            again: ask.again,
-            moved: ask.moved,
+            cell_count: ask.copies,
+            max_rung: ask.top,
+            max_wait: patience,
+            duration_hint: ask.hint.map(|ms| (ms * MILLISECOND as f64) as u64),
+            is_retry: ask.again,
+            is_migration: ask.moved,
         })
     }
 
@@ -198,19 +198,19 @@
     pub(super) fn say(&mut self, conn: ConnId, bytes: &[u8]) -> bool {
         self.conns
             .get(&conn)
-            .is_some_and(|conn| !conn.outbox.socket().is_shut() && conn.outbox.push(bytes))
+            .is_some_and(|conn| !conn.outbox.socket().is_closed() && conn.outbox.push(bytes))
     }
 
     pub(super) fn shut(&mut self, conn: ConnId) {
         if let Some(conn) = self.conns.get(&conn) {
-            conn.outbox.socket().shut();
+            conn.outbox.socket().close();
         }
     }
 
     pub(super) fn answer(&mut self, player: PlayerId, answer: &Answer) {
         tracing::trace!(tag = ?self.sessions.get(&player).map(|s| s.tag), ?answer, "answered");
         match answer {
-            Answer::Plays { .. } => {
+            Answer::Established { .. } => {
                 let Some(session) = self.sessions.get_mut(&player) else {
                     return;
                 };
@@ -222,16 +222,16 @@
                 self.served.push(conn);
                 self.say(conn, &bytes);
             }
-            Answer::Refused(why, advice) => {
+            Answer::Rejected(why, advice) => {
                 let Some(session) = self.forget(player) else {
                     return;
                 };
                 let why = match why {
-                    Refusal::NoRoom | Refusal::HeldAtHome => cause::NO_ROOM,
-                    Refusal::Overload
-                    | Refusal::TooManyOpen
-                    | Refusal::Stopping
-                    | Refusal::Returning => cause::CONGESTION,
+                    RejectReason::NoCapacity | RejectReason::CrossZoneForbidden => cause::NO_ROOM,
+                    RejectReason::Overload
+                    | RejectReason::TooManyPending
+                    | RejectReason::ShuttingDown
+                    | RejectReason::Recovering => cause::CONGESTION,
                 };
                 self.say(
                     session.conn,
@@ -248,18 +248,18 @@
                 );
             }
             // Nobody resumes or closes a session by its key here.
-            Answer::Superseded | Answer::Closed | Answer::Unknown => {}
+            Answer::Superseded | Answer::Closed | Answer::UnknownSession => {}
         }
     }
 
-    pub(super) fn notify(&mut self, player: PlayerId, notice: Notice) {
+    pub(super) fn notify(&mut self, player: PlayerId, notice: Notification) {
         let bytes = |tag| match notice {
-            Notice::Rung(_) => None, // Viewers are not told of rungs.
-            Notice::Over(OverReason::Finished, _) => {
+            Notification::RungChanged(_) => None, // Viewers are not told of rungs.
+            Notification::SessionEnded(SessionEndReason::Finished, _) => {
                 Some(viewers::finish(tag, cause::NORMAL, None))
             }
-            Notice::Over(_, _) => Some(viewers::finish(tag, cause::CUT, None)),
-            Notice::Move => Some(viewers::moved(tag)),
+            Notification::SessionEnded(_, _) => Some(viewers::finish(tag, cause::CUT, None)),
+            Notification::Migrate => Some(viewers::moved(tag)),
         };
         let Some(bytes) = self.sessions.get(&player).and_then(|s| bytes(s.tag)) else {
             return;
--- a/crates/node/src/hub/list.rs
+++ b/crates/node/src/event_loop/list.rs
@@ -1,11 +1,11 @@
 //! The directory's list in the module's terms.
 use super::{
-    clock, BTreeMap, Entry, HashMap, Health, Hub, Input, List, Listing, Phase, RosterKind, Server,
-    ServerId, State, Time, VecDeque, MILLISECOND,
+    clock, BTreeMap, Endpoint, EndpointListKind, Entry, EventLoop, HashMap, Health, Input,
+    Lifecycle, List, Server, ServerId, State, Time, VecDeque, MILLISECOND,
 };
 
-impl Hub {
-    pub(super) fn list(&mut self, list: List, kind: RosterKind) {
+impl EventLoop {
+    pub(super) fn list(&mut self, list: List, kind: EndpointListKind) {
         let now = clock::now();
         let (mut listings, mut strange) = (Vec::new(), Vec::new());
         let mut listed: BTreeMap<ServerId, Entry> = BTreeMap::new();
@@ -26,15 +26,15 @@
         }
         let old = std::mem::take(&mut self.listings);
         for (id, entry) in old.iter().filter(|(id, _)| !listed.contains_key(id)) {
-            listings.extend(self.listing(*id, entry).map(|l| Listing {
-                phase: Phase::Gone,
+            listings.extend(self.listing(*id, entry).map(|l| Endpoint {
+                lifecycle: Lifecycle::Removed,
                 ..l
             }));
             self.unlisted(*id);
         }
         for (id, entry) in &listed {
             let before = old.get(id);
-            if before == Some(entry) && kind == RosterKind::Delta {
+            if before == Some(entry) && kind == EndpointListKind::Delta {
                 continue;
             }
             listings.extend(self.listing(*id, entry));
@@ -42,7 +42,7 @@
             if elsewhere || before.is_some_and(|b| b.started_ms < entry.started_ms) {
                 self.another_life(*id, entry.started_ms.saturating_mul(MILLISECOND), elsewhere);
             }
-            let note_every = self.shared.config.fleet.settings.note_every;
+            let note_every = self.shared.config.fleet.settings.update_interval;
             let server = self.servers.entry(*id).or_insert_with(|| Server {
                 address: entry.address,
                 listed: true,
@@ -58,11 +58,11 @@
         self.listings = listed;
         let drains = listings
             .iter()
-            .filter(|l| l.phase == Phase::Draining)
+            .filter(|l| l.lifecycle == Lifecycle::Draining)
             .map(|l| l.server);
         let drains: Vec<ServerId> = drains.collect();
         if !listings.is_empty() {
-            self.tell_core(Input::Roster(kind, listings));
+            self.tell_core(Input::EndpointList(kind, listings));
         }
         drains.into_iter().for_each(|id| self.waits_no_more(id));
     }
@@ -101,26 +101,26 @@
     }
 
     /// A server in the module's terms, or the field that the settings do not know.
-    fn listing(&self, server: ServerId, entry: &Entry) -> Result<Listing, &'static str> {
+    fn listing(&self, server: ServerId, entry: &Entry) -> Result<Endpoint, &'static str> {
         let fleet = &self.shared.config.fleet;
         // A deployment that names none has one.
         let index = |names: &[String], name: &str| match names.iter().position(|n| n == name) {
             None if names.is_empty() => Some(0),
             found => found,
         };
-        Ok(Listing {
+        Ok(Endpoint {
             server,
             zone: index(&fleet.zones, &entry.zone).ok_or("zone")? as u8,
             kind: index(&fleet.kinds, &entry.kind).ok_or("kind")? as u16,
             cell: Some(entry.cell)
                 .filter(|c| u32::from(*c) < fleet.settings.cells)
                 .ok_or("cell")?,
-            phase: match entry.state {
-                State::Ready => Phase::Ready,
-                State::Draining => Phase::Draining,
+            lifecycle: match entry.state {
+                State::Ready => Lifecycle::Ready,
+                State::Draining => Lifecycle::Draining,
             },
             weight: entry.weight,
-            since: Time(entry.started_ms.saturating_mul(MILLISECOND)),
+            started_at: Time(entry.started_ms.saturating_mul(MILLISECOND)),
         })
     }
 
