--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -1,24 +1,27 @@
 //! The one place where all is heard in one order and acted on: it owns the core. It never waits for a socket.
-mod callers;
-mod leave;
+mod attempt_dispatch;
+mod client_requests;
 mod list;
-mod said;
+mod server_messages;
 mod servers;
 
-use crate::crowd::{Conn, ConnId};
+use crate::connection_table::{Conn, ConnId};
 use crate::health::{Dialed, Health};
 use crate::links;
 use crate::shared::{count, LinkId, Msg, Shared};
+use attempt_dispatch::{Leaving, LOOK_AGAIN};
 use crankpaddle_front::{
-    Answer, AttemptId, Call, Core, Effect, Input, Listing, Note, Notice, Open, Order, Outcome,
-    OverReason, Phase, PlayerId, Refusal, Report, RosterKind, ServerId, SetUp, Tap, Terms, Time,
+    Answer, AttemptId, AttemptOutcome, Call, Core, CoreConfig, Endpoint, EndpointListKind,
+    EventObserver, Input, Lifecycle, LoadReport, Notification, OpenRequest, Output, PlayerId,
+    RejectReason, ServerId, SessionEndReason, SessionUpdate, SetUpOrder, SetUpResult, Time,
+};
+use crankpaddle_net::{
+    clock, drain_after_stall, drain_queue, recv_until, sleep, Peer, WriteBuffer,
 };
-use crankpaddle_net::{catch_up, clock, recv_until, sleep, take, Outbox, Peer};
 use crankpaddle_node_protocol::directory::{Entry, List, State};
 use crankpaddle_node_protocol::rtsp::{self, cseq, Kind};
-use crankpaddle_node_protocol::viewers::{self, cause, Ask, Message};
+use crankpaddle_node_protocol::viewers::{self, cause, Message, SetUpParams};
 use crankpaddle_node_protocol::Tag;
-use leave::{Leaving, LOOK_AGAIN};
 use may::sync::mpsc::Receiver;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -81,8 +84,8 @@
 
 struct Link {
     server: ServerId,
-    outbox: Option<Arc<Outbox>>, // None while it is connecting.
-    open: Vec<AttemptId>,        // Set-ups on it without an answer, or waiting for it to come up.
+    outbox: Option<Arc<WriteBuffer>>, // None while it is connecting.
+    open: Vec<AttemptId>, // Set-ups on it without an answer, or waiting for it to come up.
     heard: u64,
     stale: Option<u64>, // Since when it is not to be used, because an attempt on it timed out in silence.
     dialed: u64,        // When it was begun.
@@ -99,7 +102,7 @@
     unsent: VecDeque<(u64, Vec<u8>)>, // What no connection could take, and until when.
 }
 
-pub(crate) struct Hub {
+pub(crate) struct EventLoop {
     shared: Arc<Shared>,
     core: Core,
     conns: BTreeMap<ConnId, Arc<Conn>>,
@@ -118,30 +121,30 @@
     release_cause: u16,      // What a teardown under way is for.
     inputs: VecDeque<Input>, // For the core, once the effects under way are carried out.
     busy: bool,
-    effects: Vec<Effect>,
+    effects: Vec<Output>,
     drained: Option<u64>,
     read: VecDeque<Msg>, // What lies in the queue behind the message that is being heard.
 }
 
-fn terms(shared: &Shared) -> Terms {
+fn terms(shared: &Shared) -> CoreConfig {
     let deadlines = &shared.config.fleet.deadlines;
-    Terms {
-        give_up: deadlines
+    CoreConfig {
+        max_wait: deadlines
             .iter()
             .map(|deadline| deadline.saturating_add(LEFT_SLACK))
             .collect(),
         answer_margin: MARGIN,
-        resume: 0,
-        back: 0, // Nothing is kept here.
-        open: shared.budget.open,
-        open_per_player: 1,
-        keep_keys: 0,
-        keys_kept: 0, // Each set-up has an id of its own.
+        resume_window: 0,
+        recovered_resume_window: 0, // Nothing is kept here.
+        max_pending: shared.budget.open,
+        max_pending_per_player: 1,
+        key_retention: 0,
+        max_retained_keys: 0, // Each set-up has an id of its own.
     }
 }
 
-impl Hub {
-    pub(crate) fn new(shared: Arc<Shared>, tap: Option<Tap>) -> Hub {
+impl EventLoop {
+    pub(crate) fn new(shared: Arc<Shared>, tap: Option<EventObserver>) -> EventLoop {
         let config = &shared.config;
         let mut core = Core::new(
             config.fleet.settings.clone(),
@@ -149,9 +152,9 @@
             config.seed,
             Time(clock::now()),
         );
-        tap.into_iter().for_each(|tap| core.set_tap(tap));
+        tap.into_iter().for_each(|tap| core.set_event_observer(tap));
         let known = config.known.clone();
-        let mut hub = Hub {
+        let mut hub = EventLoop {
             core,
             conns: BTreeMap::new(),
             served: Vec::new(),
@@ -174,7 +177,7 @@
             read: VecDeque::new(),
             shared,
         };
-        hub.list(known, RosterKind::Cached);
+        hub.list(known, EndpointListKind::Cached);
         hub
     }
 
@@ -204,7 +207,7 @@
             }
             self.hear_all(inbox);
             let due = self.core.next_expiry().map_or(u64::MAX, |t| t.0);
-            if catch_up(due, || self.hear_all(inbox) == BATCH) {
+            if drain_after_stall(due, || self.hear_all(inbox) == BATCH) {
                 tracing::warn!("stood still");
             }
             let now = clock::now();
@@ -254,7 +257,7 @@
 
     /// Hears what was read, and what lies in the queue; how many messages of the queue.
     fn hear_all(&mut self, inbox: &Receiver<Msg>) -> usize {
-        let count = take(inbox, BATCH, |msg| self.enqueue(msg));
+        let count = drain_queue(inbox, BATCH, |msg| self.enqueue(msg));
         while let Some(msg) = self.read.pop_front() {
             self.hear(msg);
         }
@@ -288,7 +291,7 @@
                 .iter()
                 .for_each(|message| self.server(link, message)),
             Msg::LinkDown(link, spoilt) => self.link_ended(link, spoilt),
-            Msg::List(list) => self.list(list, RosterKind::Delta),
+            Msg::List(list) => self.list(list, EndpointListKind::Delta),
             Msg::Drain => {
                 if self.drained.is_none() {
                     tracing::info!(counts = ?self.shared.counts(), "draining");
@@ -300,7 +303,7 @@
     }
 
     /// Tells the core, or, while effects are being carried out, tells it after them. What is owed whatever is decided
-    /// leaves now; the module decides on it in [`Hub::decide`], once all that lies in the queue was heard.
+    /// leaves now; the module decides on it in [`EventLoop::decide`], once all that lies in the queue was heard.
     fn tell_core(&mut self, input: Input) {
         self.inputs.push_back(input);
         if !self.busy {
@@ -311,7 +314,8 @@
     fn hear_inputs(&mut self) {
         self.busy = true;
         while let Some(input) = self.inputs.pop_front() {
-            self.core.hear(Time(clock::now()), input, &mut self.effects);
+            self.core
+                .handle_input(Time(clock::now()), input, &mut self.effects);
             self.tell_counts(); // Before whoever is answered can ask for them.
             self.carry_out();
         }
@@ -336,7 +340,7 @@
         }
     }
 
-    fn with_core(&mut self, call: impl FnOnce(&mut Core, Time, &mut Vec<Effect>)) {
+    fn with_core(&mut self, call: impl FnOnce(&mut Core, Time, &mut Vec<Output>)) {
         self.busy = true;
         call(&mut self.core, Time(clock::now()), &mut self.effects);
         self.tell_counts();
@@ -357,41 +361,41 @@
         let mut effects = std::mem::take(&mut self.effects);
         for effect in effects.drain(..) {
             match effect {
-                Effect::Answer(call, answer) => self.answer(call.player, &answer),
-                Effect::Notify(player, _, notice) => self.notify(player, notice),
-                Effect::SetUp {
+                Output::Answer(call, answer) => self.answer(call.player, &answer),
+                Output::Notify(player, _, notice) => self.notify(player, notice),
+                Output::StartSetUp {
                     attempt,
                     server,
                     order,
                     until,
                     ..
                 } => self.set_up(attempt, server, &order, until),
-                Effect::Holds {
+                Output::SessionAdopted {
                     player,
                     attempt,
                     server,
                 } => self.holds(player, attempt, server),
-                Effect::Found { .. } | Effect::Stage(..) => {} // Nothing is kept here.
-                Effect::Abandon(attempt, server) => self.abandon(attempt, server),
-                Effect::SetRung(attempt, server, rung) => {
+                Output::FoundSessionHandled { .. } | Output::StageReached(..) => {} // Nothing is kept here.
+                Output::AbandonAttempt(attempt, server) => self.abandon(attempt, server),
+                Output::SetRung(attempt, server, rung) => {
                     if let Some(live) = self.live.get(&attempt) {
                         let (link, bytes) = (live.link, rtsp::rate(live.tag, rung));
                         self.send_server(server, link, bytes);
                     }
                 }
-                Effect::TearDown(attempt, server) => {
+                Output::TearDown(attempt, server) => {
                     if let Some(live) = self.drop_live(attempt) {
                         let reason = self.release_cause;
                         self.send_server(server, live.link, rtsp::release(live.tag, reason));
                     }
                 }
-                Effect::Probe(server) => {
+                Output::HealthCheck(server) => {
                     let tag = Tag::parse("0000000000000000");
                     tag.into_iter()
                         .for_each(|tag| self.send_server(server, None, rtsp::probe(tag)));
                 }
-                Effect::Subscribe | Effect::FetchRoster => {} // The directory is asked all the time.
-                Effect::Log(line) => tracing::info!(line, "module"),
+                Output::SubscribeEndpoints | Output::FetchEndpoints => {} // The directory is asked all the time.
+                Output::Log(line) => tracing::info!(line, "module"),
             }
         }
         self.effects = effects;
--- a/crates/node/src/hub/said.rs
+++ b/crates/node/src/event_loop/server_messages.rs
@@ -1,10 +1,10 @@
 //! What servers say.
 use super::{
-    cause, clock, count, cseq, rtsp, AttemptId, Hub, Input, Kind, LinkId, Live, Msg, Note, Outcome,
-    Report, ServerId, SetUp, Tag,
+    cause, clock, count, cseq, rtsp, AttemptId, AttemptOutcome, EventLoop, Input, Kind, LinkId,
+    Live, LoadReport, Msg, ServerId, SessionUpdate, SetUpResult, Tag,
 };
 
-impl Hub {
+impl EventLoop {
     pub(super) fn server(&mut self, id: LinkId, message: &rtsp::Message) {
         let now = clock::now();
         let Some(link) = self.links.get_mut(&id) else {
@@ -25,12 +25,12 @@
                 Some(cseq::SET_UP) => self.set_up_answered(id, server, held, *status, message),
                 Some(cseq::OPTIONS) => {
                     let outcome = if *status == 200 {
-                        Outcome::Ok
+                        AttemptOutcome::Completed
                     } else {
-                        Outcome::Error
+                        AttemptOutcome::ServerError
                     };
                     let report = self.report(message);
-                    self.tell_core(Input::Probed(server, outcome, report));
+                    self.tell_core(Input::HealthCheckCompleted(server, outcome, report));
                 }
                 _ => {} // A release was heard.
             },
@@ -38,12 +38,12 @@
                 "ANNOUNCE" => {
                     let note = message.note().and_then(|(name, figure)| note(name, figure));
                     if let (Some(attempt), Some(note)) = (held, note) {
-                        self.tell_core(Input::Note(attempt, note));
+                        self.tell_core(Input::SessionUpdated(attempt, note));
                     }
                 }
                 "TEARDOWN" => {
                     let cseq = message.cseq.unwrap_or(cseq::TEAR_DOWN);
-                    self.send_server(server, Some(id), rtsp::heard(cseq, message.session));
+                    self.send_server(server, Some(id), rtsp::acknowledge(cseq, message.session));
                     if let Some(attempt) = held {
                         self.released(attempt, message);
                     }
@@ -79,10 +79,10 @@
         let report = self.report(message);
         if status != 200 {
             let outcome = match status {
-                453 => Outcome::Full,
-                454 => Outcome::Moot,
-                504 => Outcome::Reset,
-                _ => Outcome::Error,
+                453 => AttemptOutcome::Rejected,
+                454 => AttemptOutcome::NotSent,
+                504 => AttemptOutcome::Reset,
+                _ => AttemptOutcome::ServerError,
             };
             return self.set_up_ended(attempt, outcome, report);
         }
@@ -101,8 +101,8 @@
         // once, and the release comes right behind the answer. 'It stands' would then reach a viewer who has gone, which
         // counts as no answer at all. Harm: only what was read together is seen.
         if let Some((outcome, last)) = self.release_behind(server, message.session) {
-            self.tell_core(Input::Over(attempt, outcome, last));
-            self.tell_core(Input::SetUp(attempt, SetUp::Started(report)));
+            self.tell_core(Input::SessionEnded(attempt, outcome, last));
+            self.tell_core(Input::SetUpCompleted(attempt, SetUpResult::Started(report)));
             self.drop_live(attempt);
             return;
         }
@@ -117,11 +117,15 @@
             at.standing += 1;
             at.health.begins(now);
         }
-        self.tell_core(Input::SetUp(attempt, SetUp::Started(report)));
+        self.tell_core(Input::SetUpCompleted(attempt, SetUpResult::Started(report)));
     }
 
     /// The release of this session by its server, if it was read together with what is being heard now.
-    fn release_behind(&self, server: ServerId, session: Option<Tag>) -> Option<(Outcome, Report)> {
+    fn release_behind(
+        &self,
+        server: ServerId,
+        session: Option<Tag>,
+    ) -> Option<(AttemptOutcome, LoadReport)> {
         let of_server = |link| self.links.get(link).is_some_and(|l| l.server == server);
         let read = self.read.iter().filter_map(|msg| match msg {
             Msg::Server(link, messages) if of_server(link) => Some(messages),
@@ -140,18 +144,18 @@
         };
         let (player, report) = (live.player, self.report(message));
         if !live.answered {
-            return self.set_up_ended(attempt, Outcome::Reset, report);
+            return self.set_up_ended(attempt, AttemptOutcome::Reset, report);
         }
         let outcome = over(message);
         self.drop_live(attempt);
-        if outcome == Outcome::Cancelled {
+        if outcome == AttemptOutcome::Cancelled {
             self.forget(player); // Its viewer ended it, or it was moved: no release is owed.
         }
-        self.tell_core(Input::Over(attempt, outcome, report));
+        self.tell_core(Input::SessionEnded(attempt, outcome, report));
     }
 
     /// The figures of a message's report that the settings name, in their order.
-    fn report(&self, message: &rtsp::Message) -> Report {
+    fn report(&self, message: &rtsp::Message) -> LoadReport {
         let figures = message.state();
         let fields = &self.shared.config.fleet.fields;
         let figure = |name: &str| figures.iter().find(|(n, _)| *n == name).map(|(_, v)| *v);
@@ -163,20 +167,20 @@
 }
 
 /// How a session that stood came to its end.
-fn over(release: &rtsp::Message) -> Outcome {
+fn over(release: &rtsp::Message) -> AttemptOutcome {
     match release.cause() {
-        Some(cause::NORMAL) => Outcome::Ok,
-        Some(cause::CANCELLED) => Outcome::Cancelled,
-        _ => Outcome::Reset,
+        Some(cause::NORMAL) => AttemptOutcome::Completed,
+        Some(cause::CANCELLED) => AttemptOutcome::Cancelled,
+        _ => AttemptOutcome::Reset,
     }
 }
 
-fn note(name: &str, figure: f64) -> Option<Note> {
+fn note(name: &str, figure: f64) -> Option<SessionUpdate> {
     Some(match name {
-        "served" => Note::Delivered(figure),
-        "at_rung" => Note::Rung(figure.clamp(0.0, 255.0).round() as u8),
-        "link_use" => Note::Link(figure),
-        "rack_use" => Note::Uplink(figure),
+        "served" => SessionUpdate::DeliveryRatio(figure),
+        "at_rung" => SessionUpdate::Rung(figure.clamp(0.0, 255.0).round() as u8),
+        "link_use" => SessionUpdate::LinkDemand(figure),
+        "rack_use" => SessionUpdate::UplinkDemand(figure),
         _ => return None,
     })
 }
--- a/crates/node/src/hub/servers.rs
+++ b/crates/node/src/event_loop/servers.rs
@@ -1,7 +1,8 @@
 //! Links to servers: where a set-up is written, and what becomes of it when they break.
 use super::{
-    cause, clock, links, rtsp, Arc, AttemptId, Dialed, Hub, Input, Link, LinkId, Live, Outbox,
-    Outcome, PlayerId, Report, ServerId, SetUp, Time, ABANDONED_FOR, RELEASE_FOR,
+    cause, clock, links, rtsp, Arc, AttemptId, AttemptOutcome, Dialed, EventLoop, Input, Link,
+    LinkId, Live, LoadReport, PlayerId, ServerId, SetUpResult, Time, WriteBuffer, ABANDONED_FOR,
+    RELEASE_FOR,
 };
 
 impl Link {
@@ -29,7 +30,7 @@
     }
 }
 
-impl Hub {
+impl EventLoop {
     /// A server's link of this sort, the one used last first.
     pub(super) fn link_of(&self, server: ServerId, sort: impl Fn(&Link) -> bool) -> Option<LinkId> {
         let links = &self.servers.get(&server)?.links;
@@ -41,9 +42,17 @@
     }
 
     /// An attempt that was out came to nothing.
-    pub(super) fn set_up_ended(&mut self, attempt: AttemptId, outcome: Outcome, report: Report) {
+    pub(super) fn set_up_ended(
+        &mut self,
+        attempt: AttemptId,
+        outcome: AttemptOutcome,
+        report: LoadReport,
+    ) {
         if self.drop_live(attempt).is_some() {
-            self.tell_core(Input::SetUp(attempt, SetUp::Ended(outcome, report)));
+            self.tell_core(Input::SetUpCompleted(
+                attempt,
+                SetUpResult::Ended(outcome, report),
+            ));
         }
     }
 
@@ -96,7 +105,7 @@
                 && now.saturating_sub(sent) > self.shared.config.fleet.connect_timeout;
             link.stale = link.stale.or(silent.then_some(now));
         }
-        self.send_server(server, live.link, rtsp::give_up(live.tag));
+        self.send_server(server, live.link, rtsp::cancel(live.tag));
     }
 
     /// Sends on this link, or on another one of the server, or on the next one that comes up.
@@ -152,11 +161,13 @@
         oldest.map(|(_, id)| self.link_down(id)).is_some()
     }
 
-    pub(super) fn dialed(&mut self, id: LinkId, how: Dialed, outbox: Option<Arc<Outbox>>) {
+    pub(super) fn dialed(&mut self, id: LinkId, how: Dialed, outbox: Option<Arc<WriteBuffer>>) {
         let now = clock::now();
         let Some(link) = self.links.get_mut(&id) else {
             // It was given up meanwhile.
-            return outbox.into_iter().for_each(|outbox| outbox.socket().shut());
+            return outbox
+                .into_iter()
+                .for_each(|outbox| outbox.socket().close());
         };
         let server = link.server;
         tracing::trace!(link = id.0, server = server.0, ?how, "connected or not");
@@ -291,9 +302,9 @@
         let stands = |l: &Link| l.is_up() && l.stale.is_none();
         let lives = spoilt || !link.open.is_empty() && self.link_of(link.server, stands).is_some();
         let outcome = if lives {
-            Outcome::Error
+            AttemptOutcome::ServerError
         } else {
-            Outcome::Reset
+            AttemptOutcome::Reset
         };
         tracing::trace!(
             link = id.0,
@@ -301,7 +312,9 @@
             open = link.open.len(),
             "a link is down"
         );
-        link.outbox.iter().for_each(|outbox| outbox.socket().shut());
+        link.outbox
+            .iter()
+            .for_each(|outbox| outbox.socket().close());
         let Some(server) = self.servers.get_mut(&link.server) else {
             return;
         };
@@ -311,12 +324,12 @@
                 continue;
             };
             if live.sent.is_none() {
-                self.set_up_ended(attempt, Outcome::ConnectFailed, Report::new()); // It never came up.
+                self.set_up_ended(attempt, AttemptOutcome::ConnectFailed, LoadReport::new()); // It never came up.
                 continue;
             }
             // Danger: the answer may have been on its way, and the session would stand there without a viewer.
             let tag = live.tag;
-            self.set_up_ended(attempt, outcome, Report::new());
+            self.set_up_ended(attempt, outcome, LoadReport::new());
             self.send_server(link.server, None, rtsp::release(tag, cause::CUT));
         }
         self.watch(link.server, clock::now());
@@ -362,7 +375,11 @@
         }
         for attempt in lost {
             self.drop_live(attempt);
-            self.tell_core(Input::Over(attempt, Outcome::Reset, Report::new()));
+            self.tell_core(Input::SessionEnded(
+                attempt,
+                AttemptOutcome::Reset,
+                LoadReport::new(),
+            ));
         }
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,16 +12,16 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 mod budget;
-mod crowd;
+mod connection_table;
+mod directory_poller;
+mod event_loop;
 mod health;
-mod hub;
 mod links;
-mod poller;
 mod shared;
 mod viewers;
 
-use crankpaddle_front::Tap;
-use crankpaddle_net::{accept_while_room, listen, spawn, Stack};
+use crankpaddle_front::EventObserver;
+use crankpaddle_net::{accept_while_capacity, listen, spawn, Stack};
 use crankpaddle_node_protocol::config::{Config, Mismatch};
 use shared::{Msg, Shared};
 use std::io;
@@ -50,20 +50,20 @@
     ///
     /// # Errors
     /// As [`Node::start`].
-    pub fn start_tapped(config: Config, tap: Option<Tap>) -> io::Result<Node> {
+    pub fn start_tapped(config: Config, tap: Option<EventObserver>) -> io::Result<Node> {
         let listener = listen(config.listen)?;
         let address = listener.local_addr()?;
         let (shared, inbox) = Shared::new(config);
         let (finished, done) = mpsc::channel();
         let stopped = Arc::new(AtomicBool::new(false));
-        let hub = hub::Hub::new(shared.clone(), tap);
-        poller::follow(shared.clone(), stopped.clone())?;
+        let hub = event_loop::EventLoop::new(shared.clone(), tap);
+        directory_poller::follow(shared.clone(), stopped.clone())?;
         spawn(Stack::Large, move || {
             hub.run(&inbox);
             let _ = finished.send(()); // Nobody may wait.
         });
         let (for_room, of_viewers) = (shared.clone(), shared.clone());
-        accept_while_room(
+        accept_while_capacity(
             listener,
             stopped.clone(),
             move || viewers::make_room(&for_room),
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -1,7 +1,7 @@
 //! Connections to servers: one coroutine connects and then reads.
 use crate::health::{connect_within, Dialed};
 use crate::shared::{count, LinkId, Msg, Shared};
-use crankpaddle_net::{spawn, Outbox, Socket, Stack};
+use crankpaddle_net::{spawn, Socket, Stack, WriteBuffer};
 use crankpaddle_node_protocol::rtsp::Decoder;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -21,10 +21,10 @@
             connect_within(shared.config.fleet.connect_timeout),
         ) {
             Ok(socket) => {
-                let outbox = Arc::new(Outbox::new(Arc::new(socket), shared.budget.outbox));
+                let outbox = Arc::new(WriteBuffer::new(Arc::new(socket), shared.budget.outbox));
                 shared.tell(Msg::Dialed(link, Dialed::Up, Some(outbox.clone())));
                 let spoilt = read(&outbox, link, &shared);
-                outbox.socket().shut();
+                outbox.socket().close();
                 shared.links.fetch_sub(1, Ordering::Relaxed);
                 shared.tell(Msg::LinkDown(link, spoilt));
             }
@@ -44,7 +44,7 @@
 }
 
 /// Reads until the connection ends; true if what came on it could not be read, or stopped amid a message.
-fn read(outbox: &Outbox, link: LinkId, shared: &Shared) -> bool {
+fn read(outbox: &WriteBuffer, link: LinkId, shared: &Shared) -> bool {
     let (mut decoder, mut messages) = (Decoder::default(), Vec::new());
     let ended = outbox.read_each::<PIECE>(|piece| {
         let fed = decoder.feed(piece, &mut messages);
@@ -57,5 +57,5 @@
         }
         fed.is_ok()
     });
-    !ended || decoder.is_amid()
+    !ended || decoder.has_partial_message()
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,8 +1,8 @@
 //! What all parts of a node share: the hub's queue, the viewers' connections, counters.
 use crate::budget::Budget;
-use crate::crowd::{Conn, ConnId, Viewers};
+use crate::connection_table::{Conn, ConnId, Viewers};
 use crate::health::Dialed;
-use crankpaddle_net::{Outbox, Sweeper};
+use crankpaddle_net::{IdleSweeper, WriteBuffer};
 use crankpaddle_node_protocol::config::Config;
 use crankpaddle_node_protocol::directory::List;
 use crankpaddle_node_protocol::{rtsp, viewers};
@@ -25,7 +25,7 @@
     /// A viewer's connection is gone.
     Gone(ConnId),
     /// A connect came out.
-    Dialed(LinkId, Dialed, Option<Arc<Outbox>>),
+    Dialed(LinkId, Dialed, Option<Arc<WriteBuffer>>),
     /// A server said this, read at once.
     Server(LinkId, Vec<rtsp::Message>),
     /// A connection to a server is gone; whether because what came on it could not be read.
@@ -66,7 +66,7 @@
     pub config: Config,
     pub budget: Budget,
     pub viewers: Viewers,
-    pub sweeper: Sweeper,
+    pub sweeper: IdleSweeper,
     pub shed: Shed,
     pub links: AtomicUsize,
     pub waiting: AtomicUsize,
@@ -86,7 +86,7 @@
         let shared = Shared {
             budget,
             viewers: Viewers::new(budget.viewers),
-            sweeper: Sweeper::start(SWEEP),
+            sweeper: IdleSweeper::start(SWEEP),
             shed: Shed::default(),
             links: AtomicUsize::new(0),
             waiting: AtomicUsize::new(0),
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -1,7 +1,7 @@
 //! Viewers' connections: reading them, and closing those that say nothing.
-use crate::crowd::Conn;
+use crate::connection_table::Conn;
 use crate::shared::{count, Msg, Shared};
-use crankpaddle_net::{clock, Outbox, Socket};
+use crankpaddle_net::{clock, Socket, WriteBuffer};
 use crankpaddle_node_protocol::viewers::Decoder;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -34,12 +34,12 @@
     let socket = Arc::new(socket);
     socket.set_expiry(now.saturating_add(SILENCE));
     shared.sweeper.watch(&socket);
-    let outbox = Outbox::new(socket.clone(), shared.budget.outbox);
+    let outbox = WriteBuffer::new(socket.clone(), shared.budget.outbox);
     let conn = Arc::new(Conn::new(shared.viewers.next(), outbox, now));
     shared.viewers.enter(&conn);
     shared.tell(Msg::Joined(conn.clone()));
     read(&conn, shared);
-    socket.shut();
+    socket.close();
     shared.viewers.leave(conn.id);
     shared.tell(Msg::Gone(conn.id));
 }
@@ -66,10 +66,10 @@
             return false;
         }
         // A message gets its time from its first byte, not anew with each.
-        if decoder.is_amid() && (whole || !amid) {
+        if decoder.has_partial_message() && (whole || !amid) {
             socket.set_expiry(conn.whole_by(now, SILENCE));
         }
-        amid = decoder.is_amid();
+        amid = decoder.has_partial_message();
         conn.amid.store(amid, Ordering::Release);
         if socket.is_expired(now) {
             return false; // It says something, and not in time what it is to say.
--- a/crates/node/tests/events.rs
+++ b/crates/node/tests/events.rs
@@ -1,7 +1,7 @@
 //! What the decision module hears: from sockets the same, in the same order, as on the simulator's wire.
 #![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 mod rig;
-use crankpaddle::{Event, LoadField, RequestId, RosterKind};
+use crankpaddle::{EndpointListKind, Event, LoadField, RequestId};
 use crankpaddle_node_protocol::rtsp;
 use crankpaddle_simhost::wire::{name_report, Batch, Record};
 use rig::*;
@@ -19,20 +19,20 @@
     }
 
     fn text(&mut self, event: &Event) -> Option<String> {
-        let ask = |a: &crankpaddle::Ask| {
+        let ask = |a: &crankpaddle::SessionRequest| {
             format!(
                 "viewer {:x} class {} tenant {} title {:x} cells {}+{} top {} hint {:?} again {} moved {}",
-                a.viewer, a.class, a.tenant, a.title, a.first_cell, a.copies, a.top, a.hint, a.again, a.moved
+                a.viewer, a.class, a.tenant, a.title, a.first_cell, a.cell_count, a.max_rung, a.duration_hint, a.is_retry, a.is_migration
             )
         };
         Some(match event {
             Event::Timer(_) => return None,
-            Event::Roster(kind, list) => format!("{kind:?} {list:?}"),
-            Event::Ask(a) => format!("ask {}: {}", self.id(a.request), ask(a)),
-            Event::Adopted(a, server) => {
+            Event::EndpointList(kind, list) => format!("{kind:?} {list:?}"),
+            Event::SessionRequested(a) => format!("ask {}: {}", self.id(a.request), ask(a)),
+            Event::SessionAdopted(a, server) => {
                 format!("adopted {} at {server:?}: {}", self.id(a.request), ask(a))
             }
-            Event::Playing {
+            Event::SessionEstablished {
                 request,
                 attempt,
                 server,
@@ -40,25 +40,25 @@
             } => {
                 format!("playing {} {attempt} {server:?}", self.id(*request))
             }
-            Event::Note {
+            Event::SessionUpdated {
                 request,
                 server,
-                note,
+                update: note,
             } => {
                 format!("note {} {server:?} {note:?}", self.id(*request))
             }
-            Event::Ended {
+            Event::AttemptEnded {
                 request,
                 attempt,
                 server,
                 outcome,
-                closed,
+                is_final: closed,
                 report,
             } => {
                 let id = self.id(*request);
                 format!("ended {id} {attempt} {server:?} {outcome:?} closed {closed} {report:?}")
             }
-            Event::Left(request) => format!("left {}", self.id(*request)),
+            Event::ClientLeft(request) => format!("left {}", self.id(*request)),
             other => format!("{other:?}"),
         })
     }
@@ -175,12 +175,12 @@
                 lists.insert(list, entries);
                 continue;
             }
-            Record::Topology { kind, list, .. } => Event::Roster(kind, lists[&list].clone()),
+            Record::Topology { kind, list, .. } => Event::EndpointList(kind, lists[&list].clone()),
             Record::Front { event, .. } => event,
             Record::Reported {
                 mut event, values, ..
             } => {
-                name_report(&mut event, &values, &[LoadField::LinkAsked]);
+                name_report(&mut event, &values, &[LoadField::LinkDemand]);
                 event
             }
             Record::Spawn { .. } | Record::Stop { .. } => continue,
@@ -315,7 +315,7 @@
     ];
     let told = from_the_wire(&story.concat());
     assert_eq!(tapped.heard, told);
-    assert!(told[0].starts_with(&format!("{:?}", RosterKind::Cached)));
+    assert!(told[0].starts_with(&format!("{:?}", EndpointListKind::Cached)));
 }
 
 #[test]
@@ -326,7 +326,7 @@
     viewer.start(tag(1), FREE, 15_000);
     let (server, conn, _) = rig.set_up();
     server.send(conn, b"\x00\x01");
-    tapped.until("ended 0 0 ServerId(1) Error closed false");
+    tapped.until("ended 0 0 ServerId(1) ServerError closed false");
     // Cut off, while another connection stands.
     let (rig, mut tapped) = Tapped::start(1);
     let mut viewer = rig.viewer();
@@ -335,7 +335,7 @@
     viewer.start(tag(2), PAID, 15_000);
     let (_, second, _) = rig.set_up();
     server.close(first);
-    tapped.until("ended 0 0 ServerId(1) Error closed false");
+    tapped.until("ended 0 0 ServerId(1) ServerError closed false");
     // The last one: for all one knows the process died.
     server.close(second);
     tapped.until("ended 1 0 ServerId(1) Reset closed false");
--- a/crates/node/tests/rig/mod.rs
+++ b/crates/node/tests/rig/mod.rs
@@ -2,7 +2,7 @@
 //! They are written from the platform's protocol and block on threads of their own; nothing waits without a bound.
 #![allow(dead_code)] // Each test file uses its part.
 use crankpaddle::Event;
-use crankpaddle_front::Tap;
+use crankpaddle_front::EventObserver;
 use crankpaddle_node::Node;
 use crankpaddle_node_protocol::config::Config;
 use crankpaddle_node_protocol::rtsp::{Decoder, Kind, Message};
@@ -433,7 +433,7 @@
     pub(crate) fn start_tapped(
         servers: u32,
         change: impl FnOnce(&mut Value),
-        tap: Option<Tap>,
+        tap: Option<EventObserver>,
     ) -> Rig {
         let servers: Vec<Server> = (1..=servers).map(Server::start).collect();
         let directory = Directory::start(Told {
@@ -602,12 +602,12 @@
 
 impl Gate {
     /// A gate at events of this sort; closed once, when it is armed.
-    pub(crate) fn at(sort: impl Fn(&Event) -> bool + Send + 'static) -> (Gate, Tap) {
+    pub(crate) fn at(sort: impl Fn(&Event) -> bool + Send + 'static) -> (Gate, EventObserver) {
         let armed = Arc::new(AtomicBool::new(false));
         let (tell, reached) = channel();
         let (go, wait) = channel();
         let holds = armed.clone();
-        let tap: Tap = Box::new(move |_, event| {
+        let tap: EventObserver = Box::new(move |_, event| {
             if sort(event) && holds.swap(false, Ordering::AcqRel) {
                 let _ = tell.send(()); // The test may be over.
                 let _ = wait.recv_timeout(LONG);
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -4,8 +4,9 @@
 //! it admits top-down with spill-over and raises lower sessions when slots free. Sections: beliefs about
 //! servers and links; regions; admission; raises; attempts, time-outs and refusals; guards.
 use crate::interface::{
-    Action, Ask, Class, Effect, Event, Group, Leave, Listing, LoadField, Note, Outcome, Phase, Report,
-    RequestId, RosterKind, ServerId, Settings, Time,
+    Action, AttemptOutcome, Class, CrossZonePolicy, Endpoint, EndpointListKind, Event, Idempotency,
+    Lifecycle, LoadField, LoadReport, RequestId, RetryScope, ServerId, SessionRequest, SessionUpdate,
+    Settings, Time,
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -99,7 +100,7 @@
 
 #[derive(Default)]
 struct Server {
-    is: Listing,
+    is: Endpoint,
     rack: usize,
     places: f64,
     gauge: Gauge,
@@ -144,7 +145,7 @@
 
 #[derive(Default)]
 struct Session {
-    ask: Ask,
+    ask: SessionRequest,
     rung: u8,
     server: Option<ServerId>,
     playing: bool,
@@ -166,14 +167,14 @@
 
 /// The decisions of one front.
 #[derive(Default)]
-pub struct Front {
+pub struct PlacementPolicy {
     s: Settings,
     rng: Chance,
     servers: BTreeMap<ServerId, Server>,
     sessions: BTreeMap<RequestId, Session>,
     racks: Vec<Rack>,
     cells: BTreeMap<u16, BTreeSet<ServerId>>,
-    leaves: BTreeMap<(u8, u8), Leave>, // By zone and class; what is not named is free.
+    leaves: BTreeMap<(u8, u8), CrossZonePolicy>, // By zone and class; what is not named is free.
     tenants: Vec<(f64, Time)>,
     taken: VecDeque<Time>,
     extras: VecDeque<Time>,
@@ -300,15 +301,15 @@
     (0..kb.len()).map(climb).max_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or_default().1
 }
 
-impl Front {
+impl PlacementPolicy {
     /// A front that has heard nothing yet.
-    pub fn new(mut settings: Settings, seed: u64, now: Time) -> Front {
+    pub fn new(mut settings: Settings, seed: u64, now: Time) -> PlacementPolicy {
         let uplink = Gauge { gives: settings.uplink_kb.max(1.0), ..Gauge::default() };
         let rack = Rack { uplink, ..Rack::default() };
-        let rungs = settings.rung_kb.len().min(settings.rung_worth.len()).min(256);
+        let rungs = settings.rung_kb.len().min(settings.rung_utility.len()).min(256);
         settings.rung_kb.truncate(rungs);
-        settings.rung_worth.truncate(rungs);
-        Front {
+        settings.rung_utility.truncate(rungs);
+        PlacementPolicy {
             rng: Chance(oorandom::Rand32::new(seed)),
             racks: vec![rack; settings.racks.max(1) as usize],
             tenants: settings.tenant_quota.iter().map(|_| (0.0, now)).collect(),
@@ -320,7 +321,7 @@
             arrivals: (0.0, COUNTED.0),
             each_kb: settings.rung_kb.get(rungs / 2).copied().unwrap_or(1.0),
             s: settings,
-            ..Front::default()
+            ..PlacementPolicy::default()
         }
     }
 
@@ -337,58 +338,65 @@
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         if self.ticked.is_none() {
             self.ticked = Some(now);
-            out.push(Action::Wake { at: after(now, SECOND), token: 0 });
-            out.extend(self.s.must_ask.then_some(Action::Subscribe));
+            out.push(Action::SetTimer { at: after(now, SECOND), token: 0 });
+            out.extend(self.s.discovery_on_request.then_some(Action::SubscribeEndpoints));
         }
         // Danger: a front that stood still blames servers for answers that it had no turn to read.
         let due = self.ticked.map_or(now, |t| after(t, SECOND + STALL));
         self.resumed = if now > due { now } else { self.resumed };
         self.now = now;
         match event {
-            Event::Roster(kind, entries) => self.roster(now, kind, entries, out),
-            Event::Ask(ask) => self.ask(now, ask, out),
-            Event::Adopted(ask, server) => self.adopted(now, ask, server),
-            Event::Playing { request, server, took, .. } => self.playing(now, request, server, took),
-            Event::Note { request, server, note } => self.note(now, request, server, note, out),
-            Event::Ended { request, server, outcome, closed, report, .. } => {
+            Event::EndpointList(kind, entries) => self.roster(now, kind, entries, out),
+            Event::SessionRequested(ask) => self.ask(now, ask, out),
+            Event::SessionAdopted(ask, server) => self.adopted(now, ask, server),
+            Event::SessionEstablished { request, server, setup_time: took, .. } => {
+                self.playing(now, request, server, took);
+            }
+            Event::SessionUpdated { request, server, update: note } => {
+                self.note(now, request, server, note, out);
+            }
+            Event::AttemptEnded { request, server, outcome, is_final: closed, report, .. } => {
                 self.ended(now, (request, server), (outcome, closed, report), out);
             }
-            Event::Crossing { zone, class, leave } => drop(self.leaves.insert((zone, class), leave)),
-            Event::Top { request, top } => self.cap(now, request, top, out),
-            Event::Left(request) => drop(self.sessions.entry(request).and_modify(|s| s.closed = true)),
+            Event::CrossZonePolicyChanged { zone, class, policy: leave } => {
+                self.leaves.insert((zone, class), leave);
+            }
+            Event::MaxRungChanged { request, max_rung: top } => self.cap(now, request, top, out),
+            Event::ClientLeft(request) => drop(self.sessions.entry(request).and_modify(|s| s.closed = true)),
             Event::Timer(_) => self.tick(now, out),
-            Event::Probed { server, report, .. } => self.report(now, server, &report),
-            Event::Siblings(n) => self.s.siblings = n,
-            Event::Told { .. } => {}
+            Event::HealthCheckCompleted { server, report, .. } => self.report(now, server, &report),
+            Event::ReplicaCountChanged(n) => self.s.replica_count = n,
+            Event::PeerMessage { .. } => {}
         }
     }
 
     // ---- beliefs about servers and links ----
 
-    fn roster(&mut self, now: Time, kind: RosterKind, entries: Vec<Listing>, out: &mut Out) {
-        if kind == RosterKind::Failed {
-            if self.s.must_ask && since(now, self.listed) > SECOND {
+    fn roster(&mut self, now: Time, kind: EndpointListKind, entries: Vec<Endpoint>, out: &mut Out) {
+        if kind == EndpointListKind::Failed {
+            if self.s.discovery_on_request && since(now, self.listed) > SECOND {
                 self.listed = now;
-                out.push(Action::Subscribe);
+                out.push(Action::SubscribeEndpoints);
             }
             return;
         }
         self.listed = now;
-        if kind != RosterKind::Delta {
+        if kind != EndpointListKind::Delta {
             let listed: BTreeSet<ServerId> = entries.iter().map(|e| e.server).collect();
             for (_, server) in self.servers.iter_mut().filter(|(id, _)| !listed.contains(id)) {
-                server.is.phase = Phase::Gone;
+                server.is.lifecycle = Lifecycle::Removed;
             }
         }
         for e in entries {
             let weight = if e.weight.is_finite() && e.weight > 0.0 { e.weight } else { 1.0 };
             let server = self.servers.entry(e.server).or_default();
-            let restarted = e.since > server.is.since;
+            let restarted = e.started_at > server.is.started_at;
             server.next_turn = server.next_turn.max(self.born);
             server.rack = usize::from(e.cell) % self.racks.len();
             server.gauge.gives = (self.s.link_kb * weight).max(1.0);
-            server.places = self.s.places.get(usize::from(e.kind)).map_or(f64::INFINITY, |p| f64::from(*p));
-            let cold_until = after(e.since, self.s.cold);
+            server.places =
+                self.s.stream_capacity.get(usize::from(e.kind)).map_or(f64::INFINITY, |p| f64::from(*p));
+            let cold_until = after(e.started_at, self.s.slow_start_duration);
             if restarted && cold_until > now {
                 server.cold_until = cold_until.max(server.cold_until);
                 (server.broke, server.blocked, server.next_turn) = (false, now, now);
@@ -401,20 +409,20 @@
         self.survey(now);
     }
 
-    fn report(&mut self, now: Time, id: ServerId, report: &Report) {
+    fn report(&mut self, now: Time, id: ServerId, report: &LoadReport) {
         let Some(server) = self.servers.get_mut(&id) else { return };
         for &(field, value) in report {
             match field {
-                LoadField::LinkUtil if value >= UTIL_STOPS => server.gauge.x = server.gauge.x.max(1.0),
-                LoadField::LinkAsked | LoadField::LinkUtil => server.measure(now, value, REPORT_AGE),
-                LoadField::UplinkAsked => self.racks[server.rack].uplink.measure(now, value, REPORT_AGE),
+                LoadField::LinkUtilization if value >= UTIL_STOPS => server.gauge.x = server.gauge.x.max(1.0),
+                LoadField::LinkDemand | LoadField::LinkUtilization => server.measure(now, value, REPORT_AGE),
+                LoadField::UplinkDemand => self.racks[server.rack].uplink.measure(now, value, REPORT_AGE),
                 _ => {}
             }
         }
     }
 
     fn survey(&mut self, now: Time) {
-        let siblings = f64::from(self.s.siblings.max(1));
+        let siblings = f64::from(self.s.replica_count.max(1));
         let factors = self.mix.iter().filter_map(|(c, _)| self.class(*c)).map(|c| c.rate_factor);
         let factor = factors.sum::<f64>().max(1e-3) / self.mix.len().max(1) as f64;
         let mut region_kb = vec![0.0; self.s.rung_kb.len()];
@@ -429,8 +437,8 @@
             self.sums.own += server.here.len() as f64;
         }
         self.sums.mean_uplink = mean_heard(self.ticked, self.racks.iter().map(|r| &r.uplink));
-        let there = self.servers.values().filter(|s| s.is.phase != Phase::Gone);
-        let likely = self.sums.own_kb * siblings / self.s.fleet_kb.max(1.0);
+        let there = self.servers.values().filter(|s| s.is.lifecycle != Lifecycle::Removed);
+        let likely = self.sums.own_kb * siblings / self.s.fleet_link_kb.max(1.0);
         self.sums.mean = mean_heard(self.ticked, there.map(|s| &s.gauge)).unwrap_or(likely);
         self.racks.iter_mut().for_each(|r| (r.links, r.asked) = (0.0, 0.0));
         for server in self.servers.values().filter(|s| s.is_up()) {
@@ -446,7 +454,7 @@
         self.moves.retain(|(t, _)| since(now, *t) < RUSH);
         let net: f64 = self.moves.iter().map(|(_, n)| n).sum();
         let sure = (net - (self.moves.len() as f64).sqrt()).max(0.0) * self.each_kb * self.sums.scale;
-        self.sums.growth = sure / self.s.fleet_kb.max(1.0) / (RUSH as f64 / SECOND as f64);
+        self.sums.growth = sure / self.s.fleet_link_kb.max(1.0) / (RUSH as f64 / SECOND as f64);
     }
 
     /// Fill of a server's link. Unheard ones count as the mean, 0.8 at most: to be heard they must be tried.
@@ -493,7 +501,7 @@
         if self.class(class).is_some_and(|c| c.live) {
             let like = |s: &Session| (s.ask.title, s.ask.class, s.rung) == (session.ask.title, class, rung);
             let shared = self.here(server).any(|(r, s)| r != request && like(s));
-            kb *= if shared { self.s.join } else { 1.0 };
+            kb *= if shared { self.s.shared_stream_factor } else { 1.0 };
         }
         let Some(server) = self.servers.get_mut(&id) else { return };
         let signed = if add { kb } else { -kb };
@@ -506,16 +514,18 @@
         self.racks[server.rack].asked += signed;
     }
 
-    fn note(&mut self, now: Time, request: RequestId, id: ServerId, note: Note, out: &mut Out) {
+    fn note(&mut self, now: Time, request: RequestId, id: ServerId, note: SessionUpdate, out: &mut Out) {
         // The note at set-up is fresh, later ones are late.
         let fresh = self.sessions.get(&request).is_some_and(|s| since(now, s.started) < SECOND / 3);
-        let age = if fresh { 0 } else { self.s.note_delay };
+        let age = if fresh { 0 } else { self.s.update_delay };
         let rack = self.servers.get(&id).map_or(0, |s| s.rack);
         match note {
-            Note::Rung(rung) => self.place(now, request, rung.min(self.last_rung())),
-            Note::Link(x) => drop(self.servers.entry(id).and_modify(|s| s.measure(now, x, age))),
-            Note::Uplink(x) => self.racks[rack].uplink.measure(now, x, age),
-            Note::Delivered(share) => self.delivered(now, id, share),
+            SessionUpdate::Rung(rung) => self.place(now, request, rung.min(self.last_rung())),
+            SessionUpdate::LinkDemand(x) => {
+                self.servers.entry(id).and_modify(|s| s.measure(now, x, age));
+            }
+            SessionUpdate::UplinkDemand(x) => self.racks[rack].uplink.measure(now, x, age),
+            SessionUpdate::DeliveryRatio(share) => self.delivered(now, id, share),
         }
         self.relieve(now, id, out);
     }
@@ -568,7 +578,7 @@
         let key = (offered, step(room, ALIKE.1), server.places.min(10_000.0) as u32);
         let (s, value) = (&self.s, |step: i32, part: f64| (f64::from(step) * part).exp());
         let (offered, room) = (value(key.0, ALIKE.0), value(key.1, ALIKE.1));
-        let size = || best_regions(offered, &s.rung_kb, &s.rung_worth, room, key.2);
+        let size = || best_regions(offered, &s.rung_kb, &s.rung_utility, room, key.2);
         server.slots.clone_from(self.sizes.entry(key).or_insert_with(size));
     }
 
@@ -578,10 +588,11 @@
             (0..self.racks.len()).map(|r| self.uplink_fill(r) * self.racks[r].uplink.gives).sum();
         let room = self.racks.iter().map(|r| r.links.min(r.uplink.gives)).sum::<f64>() * PRICED_FILL;
         let placed = self.sessions.values().filter(|s| s.server.is_some());
-        let mut ours: Vec<(u8, u8)> = placed.map(|s| (s.ask.class, s.ask.top)).collect();
+        let mut ours: Vec<(u8, u8)> = placed.map(|s| (s.ask.class, s.ask.max_rung)).collect();
         // A front with few sessions prices for its late requests too.
         ours.extend(self.mix.iter().take((SAMPLE as usize).saturating_sub(ours.len())));
-        let dear = self.s.classes.iter().map(|c| c.worth / c.rate_factor.max(1e-6)).fold(0.0, f64::max);
+        let dear =
+            self.s.classes.iter().map(|c| c.priority_weight / c.rate_factor.max(1e-6)).fold(0.0, f64::max);
         let (mut low, mut high) = (0.0, dear / self.s.rung_kb.first().map_or(1.0, |kb| kb.max(1e-6)));
         for _ in 0..30 {
             self.price = 0.5 * (low + high);
@@ -594,33 +605,33 @@
 
     fn priced(&self, class: u8, top: u8) -> u8 {
         let Some(c) = self.class(class) else { return 0 };
-        let worth = |r: u8| self.s.rung_worth.get(usize::from(r)).copied().unwrap_or(0.0);
-        let earns = |r: u8| c.worth * worth(r) - self.price * self.kb(class, r);
-        let last = top.min(c.top).min(self.last_rung());
-        (c.floor..=last).fold(c.floor, |best, r| if earns(r) > earns(best) { r } else { best })
+        let worth = |r: u8| self.s.rung_utility.get(usize::from(r)).copied().unwrap_or(0.0);
+        let earns = |r: u8| c.priority_weight * worth(r) - self.price * self.kb(class, r);
+        let last = top.min(c.max_rung).min(self.last_rung());
+        (c.min_rung..=last).fold(c.min_rung, |best, r| if earns(r) > earns(best) { r } else { best })
     }
 
     // ---- admission ----
 
-    fn holders(&self, ask: &Ask) -> Vec<ServerId> {
+    fn holders(&self, ask: &SessionRequest) -> Vec<ServerId> {
         let cells = self.s.cells.max(1);
-        let held = (0..ask.copies.min(cells)).map(|i| (ask.first_cell % cells + i) % cells);
+        let held = (0..ask.cell_count.min(cells)).map(|i| (ask.first_cell % cells + i) % cells);
         held.filter_map(|cell| self.cells.get(&(cell as u16))).flatten().copied().collect()
     }
 
-    fn leave(&self, class: u8, server: &Server) -> Leave {
+    fn leave(&self, class: u8, server: &Server) -> CrossZonePolicy {
         self.leaves.get(&(server.is.zone, class)).copied().unwrap_or_default()
     }
 
     /// The rung, and so the region, that a server offers: `held` is the one that the session has there.
-    fn offer(&self, ask: &Ask, id: ServerId, held: Option<u8>) -> Option<u8> {
+    fn offer(&self, ask: &SessionRequest, id: ServerId, held: Option<u8>) -> Option<u8> {
         let server = self.servers.get(&id)?;
         let class = self.class(ask.class)?;
-        let top = ask.top.min(class.top).min(self.last_rung());
+        let top = ask.max_rung.min(class.max_rung).min(self.last_rung());
         let held_kb = held.map_or(0.0, |rung| self.kb(ask.class, rung));
         let (link, uplink) = (self.fill(server), self.uplink_fill(server.rack));
         let alike = if held.is_some() { self.alike(server) } else { 1.0 };
-        if top < class.floor
+        if top < class.min_rung
             || self.s.rung_kb.is_empty()
             || held.is_none() && self.streams(server) + 1.0 > server.places
         {
@@ -634,7 +645,7 @@
             link + more * alike / server.gauge.gives <= mark
                 && uplink + more * alike / self.racks[server.rack].uplink.gives <= mark
         };
-        let offered = (class.floor..=top).rev().find(|rung| {
+        let offered = (class.min_rung..=top).rev().find(|rung| {
             let (kb, region) = (self.kb(ask.class, *rung), usize::from(*rung));
             let spread = self.sums.region_kb[region] / self.sums.own_kb.max(1.0);
             let inside = if held == Some(*rung) { held_kb } else { 0.0 };
@@ -643,8 +654,8 @@
             fits(kb, LOW_MARK) && *rung <= priced || fits(kb, mark) && occupied + kb <= slots
         });
         // Regions lag and rates are rough: while the link is measured to have room, the lowest rung goes.
-        let room = held.is_none() && fits(self.kb(ask.class, class.floor), HEADROOM);
-        offered.or(room.then_some(class.floor))
+        let room = held.is_none() && fits(self.kb(ask.class, class.min_rung), HEADROOM);
+        offered.or(room.then_some(class.min_rung))
     }
 
     /// Streams that a server is thought to run: ours, and others at the mean rate of ours.
@@ -655,14 +666,14 @@
 
     /// How often a raise of ours happens: once a front that hears the same news, a stream there at most.
     fn alike(&self, server: &Server) -> f64 {
-        self.streams(server).min(f64::from(self.s.siblings)).max(1.0)
+        self.streams(server).min(f64::from(self.s.replica_count)).max(1.0)
     }
 
     /// Departure: a raise that fits only if few do alike is made with the probability that fills the room.
     /// Danger: many fronts with a session each raise nothing. Harm: by chance too many act; relief follows.
     fn lucky(&mut self, id: ServerId, request: RequestId) -> Option<u8> {
         let (server, session) = (self.servers.get(&id)?, self.sessions.get(&request)?);
-        let rung = self.priced(session.ask.class, session.ask.top);
+        let rung = self.priced(session.ask.class, session.ask.max_rung);
         let more = self.kb(session.ask.class, rung) - self.kb(session.ask.class, session.rung);
         let (alike, uplink) = (self.alike(server), &self.racks[server.rack].uplink);
         let room = (CHANCE_FILL - self.fill(server)) * server.gauge.gives / (more * alike).max(1.0);
@@ -679,17 +690,17 @@
         let stuck = flights.any(|s| since(now, s.waiting.max(self.resumed)) > slow);
         let turn = || turn(&self.s, server, id, now).filter(|turn| *turn >= server.next_turn);
         let cold = now < server.cold_until && (now < server.next_cold || turn().is_none());
-        server.is.phase == Phase::Ready && now >= server.blocked && !(stuck || trial || cold)
+        server.is.lifecycle == Lifecycle::Ready && now >= server.blocked && !(stuck || trial || cold)
     }
 
     /// Whether an attempt that was decided and has not left, as one whose connection comes about late, may
     /// leave still: its server takes new work, and neither its turn at a cold one nor its time has passed.
-    pub fn may_leave(&self, now: Time, request: RequestId) -> bool {
+    pub fn may_send(&self, now: Time, request: RequestId) -> bool {
         let session = self.sessions.get(&request).filter(|s| !s.closed && now < s.ask.deadline);
         let at = session.and_then(|s| Some((s, s.server?, self.servers.get(&s.server?)?)));
         at.is_some_and(|(s, id, server)| {
             let in_turn = || turn(&self.s, server, id, now).is_some_and(|turn| turn <= s.waiting);
-            server.is.phase == Phase::Ready && (now >= server.cold_until || in_turn())
+            server.is.lifecycle == Lifecycle::Ready && (now >= server.cold_until || in_turn())
         })
     }
 
@@ -698,11 +709,11 @@
         let session = self.sessions.get(&request)?;
         let ask = session.ask.clone();
         let class = self.class(ask.class)?;
-        let (free, floor) = (class.effect == Effect::Free, class.floor);
+        let (free, floor) = (class.idempotency == Idempotency::Idempotent, class.min_rung);
         let mut ids = self.holders(&ask);
         ids.retain(|id| {
             let server = &self.servers[id];
-            let open = self.leave(ask.class, server) != Leave::Never;
+            let open = self.leave(ask.class, server) != CrossZonePolicy::Forbidden;
             open && self.usable(now, *id, free)
                 && !session.tried.contains(id)
                 && self.in_group(session, server)
@@ -729,13 +740,16 @@
 
     /// Raises sessions at a server, the nearest lower region first and the longest waiting in it.
     fn raise(&mut self, now: Time, id: ServerId, out: &mut Out) {
-        let there = |s: &&Server| s.is.phase != Phase::Gone && now >= s.blocked;
+        let there = |s: &&Server| s.is.lifecycle != Lifecycle::Removed && now >= s.blocked;
         let Some(server) = self.servers.get(&id).filter(there) else { return };
         let news = server.news;
-        let repaid = |h: u64, s: &Session| seconds(after(s.started, h), now) > REPAID * self.s.switch_seconds;
-        let fit =
-            |s: &Session| s.playing && now >= s.hold && !s.closed && s.ask.hint.is_none_or(|h| repaid(h, s));
-        let open = |s: &Session| self.leave(s.ask.class, server) != Leave::Never;
+        let repaid = |h: u64, s: &Session| {
+            seconds(after(s.started, h), now) > REPAID * self.s.rung_change_cost_seconds
+        };
+        let fit = |s: &Session| {
+            s.playing && now >= s.hold && !s.closed && s.ask.duration_hint.is_none_or(|h| repaid(h, s))
+        };
+        let open = |s: &Session| self.leave(s.ask.class, server) != CrossZonePolicy::Forbidden;
         let ready = self.here(server).filter(|(_, s)| fit(s) && open(s));
         let mut waiting: Vec<_> = ready.map(|(r, s)| (std::cmp::Reverse(s.rung), s.waiting, r)).collect();
         self.size(now, id);
@@ -760,15 +774,15 @@
     fn set_rung(&mut self, now: Time, request: RequestId, rung: u8, hold: u64, out: &mut Out) {
         self.place(now, request, rung);
         self.sessions.entry(request).and_modify(|s| (s.waiting, s.hold) = (now, after(now, hold)));
-        out.push(Action::Rung { request, rung });
+        out.push(Action::SetRung { request, rung });
     }
 
     /// A session's highest rung changes. Harm: one lowered here waits its pause before it may rise again.
     fn cap(&mut self, now: Time, request: RequestId, top: u8, out: &mut Out) {
         let Some(session) = self.sessions.get(&request) else { return };
-        let top = top.max(self.class(session.ask.class).map_or(0, |c| c.floor));
+        let top = top.max(self.class(session.ask.class).map_or(0, |c| c.min_rung));
         let lower = session.playing && !session.closed && session.rung > top;
-        self.sessions.entry(request).and_modify(|s| s.ask.top = top);
+        self.sessions.entry(request).and_modify(|s| s.ask.max_rung = top);
         if lower {
             self.set_rung(now, request, top, self.paced(LOWER_PAUSE), out);
         }
@@ -788,10 +802,10 @@
             let step = |lower: u8| {
                 let l = usize::from(lower);
                 let saved = (self.s.rung_kb[l + 1] - self.s.rung_kb[l]) * class.rate_factor;
-                let lost = (self.s.rung_worth[l + 1] - self.s.rung_worth[l]) * class.worth;
+                let lost = (self.s.rung_utility[l + 1] - self.s.rung_utility[l]) * class.priority_weight;
                 (lost / saved.max(1e-9), saved, request, lower)
             };
-            let least = if x > 1.5 { class.floor } else { s.rung.saturating_sub(1).max(class.floor) };
+            let least = if x > 1.5 { class.min_rung } else { s.rung.saturating_sub(1).max(class.min_rung) };
             Some((least..s.rung).rev().map(step).collect::<Vec<_>>())
         };
         let mut steps: Vec<(f64, f64, RequestId, u8)> = here.filter_map(down).flatten().collect();
@@ -807,13 +821,13 @@
         for (request, rung) in to {
             self.set_rung(now, request, rung, self.paced(LOWER_PAUSE), out);
         }
-        let pause = self.s.note_delay.saturating_add(SECOND);
+        let pause = self.s.update_delay.saturating_add(SECOND);
         self.servers.entry(id).and_modify(|s| s.next_relief = after(now, pause));
     }
 
     // ---- attempts, time-outs and refusals ----
 
-    fn ask(&mut self, now: Time, ask: Ask, out: &mut Out) {
+    fn ask(&mut self, now: Time, ask: SessionRequest, out: &mut Out) {
         let request = ask.request;
         self.taken.push_back(now);
         if self.sessions.contains_key(&request) {
@@ -834,44 +848,48 @@
             if self.may_attempt(now, request) { self.choose(now, request, over_share) } else { None };
         let Some(session) = self.sessions.get_mut(&request) else { return };
         let Some((id, rung)) = chosen else {
-            let effect = self.s.classes.get(usize::from(session.ask.class)).map(|c| c.effect);
-            let harmless = matches!(effect, None | Some(Effect::Free | Effect::Guarded(Group::All)));
-            let reject = Action::Reject { request, stay_away: self.s.stay_away_cap };
+            let effect = self.s.classes.get(usize::from(session.ask.class)).map(|c| c.idempotency);
+            let harmless = matches!(
+                effect,
+                None | Some(Idempotency::Idempotent | Idempotency::IdempotentWithin(RetryScope::All))
+            );
+            let reject = Action::Reject { request, retry_after: self.s.max_retry_after };
             out.push(if harmless || session.ran.is_none() { reject } else { Action::Fail(request) });
             self.sessions.remove(&request);
             return;
         };
         let class = &self.s.classes[usize::from(session.ask.class)];
         let left = session.ask.deadline.0.saturating_sub(now.0);
-        let part = (class.aim / 2).max((4.0 * self.setup) as u64);
-        let timeout = if class.effect == Effect::SingleShot { 0 } else { part.min(left) };
+        let part = (class.latency_objective / 2).max((4.0 * self.setup) as u64);
+        let timeout = if class.idempotency == Idempotency::AtMostOnce { 0 } else { part.min(left) };
         (session.server, session.rung, session.waiting) = (Some(id), rung, now);
         self.extras.extend((!session.tried.is_empty()).then_some(now));
         session.tried.push(id);
         let set = &self.s;
         self.servers.entry(id).and_modify(|s| {
-            (s.next_cold, s.next_turn) = (after(now, cold_interval(set, s).min(set.fall)), after(now, 1));
+            (s.next_cold, s.next_turn) =
+                (after(now, cold_interval(set, s).min(set.overload_window)), after(now, 1));
         });
         self.book(now, request, true);
         self.moves.push_back((now, 1.0));
-        out.push(Action::Rung { request, rung });
-        out.push(Action::Attempt { request, server: id, timeout });
+        out.push(Action::SetRung { request, rung });
+        out.push(Action::StartAttempt { request, server: id, timeout });
     }
 
-    fn open(&mut self, now: Time, ask: Ask) {
-        self.mix.push_front((ask.class, ask.top));
+    fn open(&mut self, now: Time, ask: SessionRequest) {
+        self.mix.push_front((ask.class, ask.max_rung));
         self.mix.truncate(100);
         let request = ask.request;
         let session = Session { ask, waiting: now, hold: now, started: now, ..Session::default() };
         self.sessions.insert(request, session);
     }
 
-    fn adopted(&mut self, now: Time, ask: Ask, id: ServerId) {
+    fn adopted(&mut self, now: Time, ask: SessionRequest, id: ServerId) {
         let request = ask.request;
         if self.sessions.contains_key(&request) {
             return;
         }
-        let floor = self.class(ask.class).map_or(0, |c| c.floor);
+        let floor = self.class(ask.class).map_or(0, |c| c.min_rung);
         self.open(now, ask);
         if let Some(session) = self.sessions.get_mut(&request) {
             (session.server, session.rung, session.playing) = (Some(id), floor, true);
@@ -889,26 +907,32 @@
             server.doubts = server.doubts.saturating_sub(1);
             if server.broke {
                 server.broke = false;
-                server.cold_until = server.cold_until.max(after(now, self.s.cold));
+                server.cold_until = server.cold_until.max(after(now, self.s.slow_start_duration));
             }
         }
     }
 
-    fn ended(&mut self, now: Time, of: (RequestId, ServerId), end: (Outcome, bool, Report), out: &mut Out) {
+    fn ended(
+        &mut self,
+        now: Time,
+        of: (RequestId, ServerId),
+        end: (AttemptOutcome, bool, LoadReport),
+        out: &mut Out,
+    ) {
         let ((request, id), (outcome, closed, report)) = (of, end);
         let known = self.sessions.get(&request).is_some_and(|s| s.server == Some(id));
         if let Some(server) = self.servers.get_mut(&id) {
-            let broke = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
+            let broke = matches!(outcome, AttemptOutcome::ConnectFailed | AttemptOutcome::Reset);
             if broke && !server.broke {
                 server.broke = true;
-                server.cold_until = server.cold_until.max(after(now, 2 * self.s.cold));
+                server.cold_until = server.cold_until.max(after(now, 2 * self.s.slow_start_duration));
                 server.next_turn = server.next_turn.max(now);
             }
-            let late = outcome == Outcome::Timeout && since(now, self.resumed) > STALL;
-            if broke || late || outcome == Outcome::Error {
+            let late = outcome == AttemptOutcome::Timeout && since(now, self.resumed) > STALL;
+            if broke || late || outcome == AttemptOutcome::ServerError {
                 server.trouble(now);
-            } else if outcome == Outcome::Full {
-                server.gauge.x = server.gauge.x.max(self.s.server_guard.min(1.0));
+            } else if outcome == AttemptOutcome::Rejected {
+                server.gauge.x = server.gauge.x.max(self.s.server_rejection_threshold.min(1.0));
             }
         }
         if known {
@@ -918,11 +942,14 @@
         }
         let Some(session) = self.sessions.get_mut(&request).filter(|_| known) else { return };
         session.server = None;
-        let never = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+        let never = matches!(
+            outcome,
+            AttemptOutcome::Rejected | AttemptOutcome::ConnectFailed | AttemptOutcome::NotSent
+        );
         session.ran = session.ran.or((!never).then_some((id, session.waiting)));
-        if session.playing || session.closed || closed || outcome == Outcome::Ok {
-            self.ends += f64::from(u8::from(session.playing && outcome == Outcome::Ok));
-            let lost = session.playing && outcome == Outcome::Reset;
+        if session.playing || session.closed || closed || outcome == AttemptOutcome::Completed {
+            self.ends += f64::from(u8::from(session.playing && outcome == AttemptOutcome::Completed));
+            let lost = session.playing && outcome == AttemptOutcome::Reset;
             if let Some(session) = self.sessions.remove(&request).filter(|_| lost) {
                 // A lost session's viewer comes again: its other holders count it as an arrival at once.
                 self.arrive(&session.ask);
@@ -933,7 +960,7 @@
         }
     }
 
-    fn arrive(&mut self, ask: &Ask) {
+    fn arrive(&mut self, ask: &SessionRequest) {
         let mut ids = self.holders(ask);
         ids.retain(|id| self.servers[id].is_up());
         self.arrivals.0 += 1.0;
@@ -950,14 +977,14 @@
         let past = seconds(now, last);
         self.seconds += past * self.sessions.values().filter(|s| s.playing).count() as f64;
         self.ticked = Some(now);
-        out.push(Action::Wake { at: after(now, SECOND), token: 0 });
+        out.push(Action::SetTimer { at: after(now, SECOND), token: 0 });
         let rate = self.arrivals.0 / self.arrivals.1.max(1.0);
         let kept = (-past * (1.0 / (COUNTED.0 * self.pace())).min(rate / COUNTED.1)).exp();
         self.arrivals = (self.arrivals.0 * kept, self.arrivals.1 * kept + past);
         self.servers.values_mut().for_each(|s| s.arrivals *= kept);
-        if self.s.must_ask && since(now, self.listed) > self.s.ask_within / 2 {
+        if self.s.discovery_on_request && since(now, self.listed) > self.s.max_discovery_age / 2 {
             self.listed = now;
-            out.push(Action::FetchRoster);
+            out.push(Action::FetchEndpoints);
         }
         self.bury(now);
         self.survey(now);
@@ -974,7 +1001,9 @@
     fn bury(&mut self, now: Time) {
         let (cells, sessions) = (&mut self.cells, &self.sessions);
         self.servers.retain(|id, s| {
-            let over = s.is.phase == Phase::Gone && s.here.is_empty() && now >= s.cold_until.max(s.blocked);
+            let over = s.is.lifecycle == Lifecycle::Removed
+                && s.here.is_empty()
+                && now >= s.cold_until.max(s.blocked);
             let dead = over && !sessions.values().any(|s| s.ran.is_some_and(|(ran, _)| ran == *id));
             if dead {
                 cells.entry(s.is.cell).or_default().remove(id);
@@ -987,42 +1016,42 @@
 
     /// Whether an attempt breaks nothing: one at a time, in time, in caps, no second where one may have run.
     fn may_attempt(&mut self, now: Time, request: RequestId) -> bool {
-        let window = now.0.saturating_sub(self.s.extra_window);
+        let window = now.0.saturating_sub(self.s.retry_budget_window);
         for times in [&mut self.taken, &mut self.extras] {
             times.retain(|t| t.0 >= window);
         }
         let Some(session) = self.sessions.get(&request) else { return false };
         let Some(class) = self.class(session.ask.class) else { return false };
         let open = !session.closed && session.server.is_none() && now < session.ask.deadline;
-        let again = match (class.effect, session.ran) {
-            (Effect::Free, _) | (_, None) => true,
-            (Effect::SingleShot, Some(_)) => false,
-            (Effect::Guarded(_), Some((_, sent))) => since(now, sent) < class.repeat_within,
+        let again = match (class.idempotency, session.ran) {
+            (Idempotency::Idempotent, _) | (_, None) => true,
+            (Idempotency::AtMostOnce, Some(_)) => false,
+            (Idempotency::IdempotentWithin(_), Some((_, sent))) => since(now, sent) < class.retry_window,
         };
         let title = |s: &&Session| (s.ask.class, s.ask.title) == (session.ask.class, session.ask.title);
         let held = self.sessions.values().filter(|s| s.server.is_some()).filter(title);
-        let seat = class.seats == 0 || held.count() < class.seats as usize;
-        let share = self.s.extra_share * self.taken.len() as f64;
-        let allowed = self.s.extra_floor.map_or(f64::INFINITY, |floor| floor + share);
+        let seat = class.max_sessions_per_title == 0 || held.count() < class.max_sessions_per_title as usize;
+        let share = self.s.retry_budget_ratio * self.taken.len() as f64;
+        let allowed = self.s.retry_budget_min.map_or(f64::INFINITY, |floor| floor + share);
         open && again
             && seat
-            && session.tried.len() < self.s.attempts_cap.max(1) as usize
+            && session.tried.len() < self.s.max_attempts.max(1) as usize
             && (session.tried.is_empty() || (self.extras.len() + 1) as f64 <= allowed)
     }
 
     /// A guarded class is sent again only within the group of the attempt that may have run.
     fn in_group(&self, session: &Session, server: &Server) -> bool {
         let Some(first) = session.ran.and_then(|(id, _)| self.servers.get(&id)) else { return true };
-        match self.class(session.ask.class).map(|c| c.effect) {
-            Some(Effect::Guarded(Group::Zone)) => first.is.zone == server.is.zone,
-            Some(Effect::Guarded(Group::Cell)) => first.is.cell == server.is.cell,
+        match self.class(session.ask.class).map(|c| c.idempotency) {
+            Some(Idempotency::IdempotentWithin(RetryScope::Zone)) => first.is.zone == server.is.zone,
+            Some(Idempotency::IdempotentWithin(RetryScope::Cell)) => first.is.cell == server.is.cell,
             _ => true,
         }
     }
 
     fn over_share(&mut self, now: Time, tenant: u16) -> bool {
         let quota = self.s.tenant_quota.get(usize::from(tenant)).copied().unwrap_or(0.0);
-        let rate = TENANT.0 * quota / f64::from(self.s.siblings.max(1));
+        let rate = TENANT.0 * quota / f64::from(self.s.replica_count.max(1));
         let Some((used, at)) = self.tenants.get_mut(usize::from(tenant)) else { return false };
         *used = (*used - rate * seconds(now, *at)).max(0.0);
         *at = now;
@@ -1035,8 +1064,10 @@
 /// Time between a front's turns at a cold server, its warmth taken at the least: so long that all fronts'
 /// turns that meet any span of the rule's length are what the rule allows in it, and one more at most.
 fn cold_interval(s: &Settings, server: &Server) -> u64 {
-    let pace = server.places.min(10_000.0) / s.cold.max(1) as f64 * s.cold_share * s.fall_multiple;
-    (f64::from(s.siblings.max(1)) * COLD_MEETS / pace.max(1e-12)) as u64
+    let pace = server.places.min(10_000.0) / s.slow_start_duration.max(1) as f64
+        * s.slow_start_min_factor
+        * s.overload_multiple;
+    (f64::from(s.replica_count.max(1)) * COLD_MEETS / pace.max(1e-12)) as u64
 }
 
 /// When this front's turn at a cold server began, if it is in one: a set-up in each, for the rule's span from
@@ -1044,16 +1075,16 @@
 /// unused ones that are kept add up until a crowd comes; so they lie on one grid from the start that the list
 /// tells all, evenly spread over the fronts. Harm: many fronts leave a cold server idle.
 fn turn(s: &Settings, server: &Server, id: ServerId, now: Time) -> Option<Time> {
-    let (siblings, interval) = (u64::from(s.siblings.max(1)), cold_interval(s, server).max(1));
-    let place = (u64::from(s.index) + u64::from(id.0)) % siblings;
+    let (siblings, interval) = (u64::from(s.replica_count.max(1)), cold_interval(s, server).max(1));
+    let place = (u64::from(s.front_index) + u64::from(id.0)) % siblings;
     let first = (interval as f64 * (place as f64 + 0.5) / siblings as f64) as u64;
-    let late = since(now, server.is.since).checked_sub(first)? % interval;
-    (late <= s.fall).then(|| Time(now.0 - late))
+    let late = since(now, server.is.started_at).checked_sub(first)? % interval;
+    (late <= s.overload_window).then(|| Time(now.0 - late))
 }
 
 impl Server {
     fn is_up(&self) -> bool {
-        self.is.phase == Phase::Ready && !self.broke
+        self.is.lifecycle == Lifecycle::Ready && !self.broke
     }
 
     fn measure(&mut self, now: Time, value: f64, age: u64) {
--- a/crates/policy/tests/cold_ramp.rs
+++ b/crates/policy/tests/cold_ramp.rs
@@ -45,16 +45,21 @@
 
 fn roster(start: Option<u64>) -> Event {
     let mut entries = fleet();
-    entries.extend(start.map(|at| Listing { cell: 0, ..listing(SERVER, Phase::Ready, Time(at)) }));
-    Event::Roster(RosterKind::Full, entries)
+    entries.extend(start.map(|at| Endpoint { cell: 0, ..listing(SERVER, Lifecycle::Ready, Time(at)) }));
+    Event::EndpointList(EndpointListKind::Full, entries)
 }
 
 /// The set-ups that a fleet of `n` fronts sends to a server that starts; each with its time and its work.
 fn ramp(n: u32, places: u32, seed: u64) -> (Settings, Vec<(u64, f64)>) {
-    let own = |index| Settings { index, siblings: n, places: vec![places], ..settings() };
+    let own = |index| Settings {
+        front_index: index,
+        replica_count: n,
+        stream_capacity: vec![places],
+        ..settings()
+    };
     let mut dice = Dice(oorandom::Rand64::new(u128::from(seed) + 1));
     let front = |index: u32, now: u64, seed: u64| {
-        let mut drive = Drive { front: Front::new(own(index), seed, Time(now)), now: Time(now) };
+        let mut drive = Drive { front: PlacementPolicy::new(own(index), seed, Time(now)), now: Time(now) };
         drive.send(roster(None));
         drive
     };
@@ -71,7 +76,7 @@
     let mut now = BEGIN;
     loop {
         now += (-dice.unit().ln() / rate * SECOND as f64) as u64;
-        if now >= start + own(0).cold {
+        if now >= start + own(0).slow_start_duration {
             break; // It is warm.
         }
         let i = loop {
@@ -89,7 +94,7 @@
         while ends[i].front().is_some_and(|(at, ..)| *at <= now) {
             let (at, request, server) = ends[i].pop_front().expect("just seen");
             d.now = Time(at).max(d.now);
-            d.end(request, server, Outcome::Ok, true);
+            d.end(request, server, AttemptOutcome::Completed, true);
         }
         d.now = Time(now).max(d.now);
         if !knows[i] && now >= hears[i] {
@@ -111,7 +116,7 @@
                 ends[i].push_back((now + 2 * SECOND, request, server));
                 break;
             }
-            out = d.end(request, server, Outcome::Full, false);
+            out = d.end(request, server, AttemptOutcome::Rejected, false);
         }
     }
     (own(0), sent)
@@ -121,15 +126,17 @@
     let mut result = Ramp { allowed: 0.0, falls: 0.0, most: 0, most_work: 0.0, mean: 0.0 };
     for seed in 0..seeds {
         let (s, sent) = ramp(n, places, seed);
-        let pace = f64::from(places) / s.cold as f64 * s.cold_share * s.fall_multiple;
-        result.allowed = pace * s.fall as f64;
+        let pace =
+            f64::from(places) / s.slow_start_duration as f64 * s.slow_start_min_factor * s.overload_multiple;
+        result.allowed = pace * s.overload_window as f64;
         result.falls = result.allowed + 2.0 * result.allowed.sqrt() + 2.0;
         for from in 0..sent.len() {
-            let span = || sent[from..].iter().take_while(|(at, _)| *at < sent[from].0 + s.fall);
+            let span = || sent[from..].iter().take_while(|(at, _)| *at < sent[from].0 + s.overload_window);
             result.most = result.most.max(span().count());
             result.most_work = result.most_work.max(span().map(|(_, work)| work).sum());
         }
-        result.mean += sent.len() as f64 / (s.cold as f64 / s.fall as f64) / seeds as f64;
+        result.mean +=
+            sent.len() as f64 / (s.slow_start_duration as f64 / s.overload_window as f64) / seeds as f64;
     }
     result
 }
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -10,94 +10,102 @@
 
 pub(crate) fn settings() -> Settings {
     let class = |effect, floor, top, rate_factor, seats| Class {
-        aim: 800 * MS,
-        effect,
-        repeat_within: 2 * SECOND,
-        worth: 1.0,
-        floor,
-        top,
+        latency_objective: 800 * MS,
+        idempotency: effect,
+        retry_window: 2 * SECOND,
+        priority_weight: 1.0,
+        min_rung: floor,
+        max_rung: top,
         rate_factor,
-        seats,
+        max_sessions_per_title: seats,
         live: false,
     };
     Settings {
-        index: 0,
-        siblings: 2,
+        front_index: 0,
+        replica_count: 2,
         zone: 0,
         classes: vec![
-            class(Effect::Free, 0, 4, 1.0, 0),
-            class(Effect::SingleShot, 1, 4, 1.4, 3),
-            class(Effect::Guarded(Group::Zone), 0, 3, 1.0, 0),
+            class(Idempotency::Idempotent, 0, 4, 1.0, 0),
+            class(Idempotency::AtMostOnce, 1, 4, 1.4, 3),
+            class(Idempotency::IdempotentWithin(RetryScope::Zone), 0, 3, 1.0, 0),
         ],
         rung_kb: vec![200.0, 350.0, 600.0, 1000.0, 1800.0],
-        rung_worth: vec![0.2, 0.45, 0.65, 0.8, 1.0],
+        rung_utility: vec![0.2, 0.45, 0.65, 0.8, 1.0],
         cells: 6,
         racks: 2,
-        places: vec![25],
-        fleet_kb: 36_000.0,
+        stream_capacity: vec![25],
+        fleet_link_kb: 36_000.0,
         link_kb: 6000.0,
         uplink_kb: 20_000.0,
-        server_guard: 0.0,
-        join: 1.0,
-        note_delay: SECOND,
-        note_every: 3 * SECOND,
+        server_rejection_threshold: 0.0,
+        shared_stream_factor: 1.0,
+        update_delay: SECOND,
+        update_interval: 3 * SECOND,
         shortfall_cost: 8.0,
-        switch_seconds: 0.5,
+        rung_change_cost_seconds: 0.5,
         tenant_quota: vec![],
-        over_share_worth: 0.1,
-        must_ask: false,
-        ask_within: 10 * SECOND,
-        attempts_cap: 4,
-        stay_away_cap: SECOND,
-        may_probe: false,
-        may_tell: false,
-        may_cancel: true,
-        cold: 10 * SECOND,
-        cold_share: 0.4,
-        fall_multiple: 2.5,
-        fall: SECOND,
-        extra_floor: None,
-        extra_share: 0.0,
-        extra_window: 5 * SECOND,
+        over_quota_weight: 0.1,
+        discovery_on_request: false,
+        max_discovery_age: 10 * SECOND,
+        max_attempts: 4,
+        max_retry_after: SECOND,
+        health_checks_allowed: false,
+        gossip_allowed: false,
+        cancel_allowed: true,
+        slow_start_duration: 10 * SECOND,
+        slow_start_min_factor: 0.4,
+        overload_multiple: 2.5,
+        overload_window: SECOND,
+        retry_budget_min: None,
+        retry_budget_ratio: 0.0,
+        retry_budget_window: 5 * SECOND,
         cross_zone_price: 0.01,
-        move_price: 0.1,
+        migration_price: 0.1,
     }
 }
 
-pub(crate) fn listing(id: u32, phase: Phase, since: Time) -> Listing {
+pub(crate) fn listing(id: u32, phase: Lifecycle, since: Time) -> Endpoint {
     let cell = id as u16 - 1;
-    Listing { server: ServerId(id), zone: (cell % 2) as u8, kind: 0, cell, phase, weight: 1.0, since }
+    Endpoint {
+        server: ServerId(id),
+        zone: (cell % 2) as u8,
+        kind: 0,
+        cell,
+        lifecycle: phase,
+        weight: 1.0,
+        started_at: since,
+    }
 }
 
 /// Six servers with ids 1 to 6 in cells 0 to 5.
-pub(crate) fn fleet() -> Vec<Listing> {
-    (1..=6).map(|id| listing(id, Phase::Ready, Time(0))).collect()
+pub(crate) fn fleet() -> Vec<Endpoint> {
+    (1..=6).map(|id| listing(id, Lifecycle::Ready, Time(0))).collect()
 }
 
-pub(crate) fn ask(request: u64, class: u8, now: Time) -> Ask {
-    Ask {
+pub(crate) fn ask(request: u64, class: u8, now: Time) -> SessionRequest {
+    SessionRequest {
         request: RequestId(request),
         viewer: request,
         class,
         title: request % 5,
         first_cell: (request % 6) as u32,
-        copies: 3,
-        top: 4,
+        cell_count: 3,
+        max_rung: 4,
         deadline: Time(now.0 + 4 * SECOND),
-        ..Ask::default()
+        ..SessionRequest::default()
     }
 }
 
 pub(crate) struct Drive {
-    pub front: Front,
+    pub front: PlacementPolicy,
     pub now: Time,
 }
 
 impl Drive {
     pub(crate) fn new(settings: Settings) -> Drive {
         let now = Time(1000 * SECOND);
-        let mut drive = Drive { front: Front::new(settings, 7, now), now };
-        drive.send(Event::Roster(RosterKind::Full, fleet()));
+        let mut drive = Drive { front: PlacementPolicy::new(settings, 7, now), now };
+        drive.send(Event::EndpointList(EndpointListKind::Full, fleet()));
         drive
     }
 
@@ -112,39 +120,51 @@
     }
 
     pub(crate) fn ask(&mut self, request: u64, class: u8) -> Vec<Action> {
-        self.send(Event::Ask(ask(request, class, self.now)))
+        self.send(Event::SessionRequested(ask(request, class, self.now)))
     }
 
     pub(crate) fn end(
         &mut self,
         request: u64,
         server: ServerId,
-        outcome: Outcome,
+        outcome: AttemptOutcome,
         closed: bool,
     ) -> Vec<Action> {
         let request = RequestId(request);
-        self.send(Event::Ended { request, attempt: 0, server, outcome, closed, report: Report::new() })
+        self.send(Event::AttemptEnded {
+            request,
+            attempt: 0,
+            server,
+            outcome,
+            is_final: closed,
+            report: LoadReport::new(),
+        })
     }
 
     pub(crate) fn plays(&mut self, request: u64, server: ServerId) -> Vec<Action> {
-        self.send(Event::Playing { request: RequestId(request), attempt: 0, server, took: 100 * MS })
+        self.send(Event::SessionEstablished {
+            request: RequestId(request),
+            attempt: 0,
+            server,
+            setup_time: 100 * MS,
+        })
     }
 
-    pub(crate) fn note(&mut self, request: u64, server: ServerId, note: Note) -> Vec<Action> {
-        self.send(Event::Note { request: RequestId(request), server, note })
+    pub(crate) fn note(&mut self, request: u64, server: ServerId, note: SessionUpdate) -> Vec<Action> {
+        self.send(Event::SessionUpdated { request: RequestId(request), server, update: note })
     }
 }
 
 pub(crate) fn attempt(actions: &[Action]) -> Option<ServerId> {
     actions.iter().find_map(|a| match a {
-        Action::Attempt { server, .. } => Some(*server),
+        Action::StartAttempt { server, .. } => Some(*server),
         _ => None,
     })
 }
 
 pub(crate) fn rung(actions: &[Action]) -> Option<u8> {
     actions.iter().find_map(|a| match a {
-        Action::Rung { rung, .. } => Some(*rung),
+        Action::SetRung { rung, .. } => Some(*rung),
         _ => None,
     })
 }
--- a/crates/policy/tests/failures.rs
+++ b/crates/policy/tests/failures.rs
@@ -6,7 +6,7 @@
 /// A front that knows server 1 only; asks are for cell 0.
 fn one_server() -> Drive {
     let mut d = Drive::new(settings());
-    d.send(Event::Roster(RosterKind::Full, vec![listing(1, Phase::Ready, Time(0))]));
+    d.send(Event::EndpointList(EndpointListKind::Full, vec![listing(1, Lifecycle::Ready, Time(0))]));
     d
 }
 
@@ -28,7 +28,7 @@
 
 fn rung_changes(actions: &[Action]) -> Vec<(u64, u8)> {
     let rung = |a: &Action| match a {
-        Action::Rung { request, rung } => Some((request.0, *rung)),
+        Action::SetRung { request, rung } => Some((request.0, *rung)),
         _ => None,
     };
     actions.iter().filter_map(rung).collect()
@@ -53,9 +53,9 @@
     d.wait(SECOND);
     let mut changes = Vec::new();
     for request in 1..=n / 2 {
-        changes.extend(rung_changes(&d.end(request * 6, ServerId(1), Outcome::Ok, true)));
+        changes.extend(rung_changes(&d.end(request * 6, ServerId(1), AttemptOutcome::Completed, true)));
     }
-    d.note(n * 6, ServerId(1), Note::Link(0.3));
+    d.note(n * 6, ServerId(1), SessionUpdate::LinkDemand(0.3));
     changes.extend(rung_changes(&tick(&mut d, 20)));
     let from: std::collections::BTreeSet<_> =
         changes.iter().map(|(r, _)| rungs[(r / 6 - 1) as usize]).collect();
@@ -72,14 +72,14 @@
     let mut d = one_server();
     let rungs: Vec<_> = (1..60).map_while(|n| play(&mut d, n)).collect();
     tick(&mut d, 2);
-    assert!(rung_changes(&d.note(6, ServerId(1), Note::Link(0.85))).is_empty());
-    let out = rung_changes(&d.note(6, ServerId(1), Note::Link(1.5)));
+    assert!(rung_changes(&d.note(6, ServerId(1), SessionUpdate::LinkDemand(0.85))).is_empty());
+    let out = rung_changes(&d.note(6, ServerId(1), SessionUpdate::LinkDemand(1.5)));
     assert!(!out.is_empty());
     for (request, rung) in out {
         assert!(rung < rungs[(request / 6 - 1) as usize]);
     }
     // Once for each news: the same late note again changes nothing.
-    assert!(rung_changes(&d.note(6, ServerId(1), Note::Link(1.5))).is_empty());
+    assert!(rung_changes(&d.note(6, ServerId(1), SessionUpdate::LinkDemand(1.5))).is_empty());
 }
 
 #[test]
@@ -88,18 +88,19 @@
     let server = attempt(&d.ask(6, FREE)).unwrap();
     d.plays(6, server);
     d.wait(SECOND);
-    d.note(6, server, Note::Link(1.2));
-    d.end(6, server, Outcome::Ok, true);
+    d.note(6, server, SessionUpdate::LinkDemand(1.2));
+    d.end(6, server, AttemptOutcome::Completed, true);
     assert!(attempt(&d.ask(12, FREE)).is_none());
-    d.send(Event::Roster(RosterKind::Delta, fleet()[1..].to_vec()));
+    d.send(Event::EndpointList(EndpointListKind::Delta, fleet()[1..].to_vec()));
     for id in 2..=6 {
         let request = 1200 + u64::from(id) - 1;
-        let out = d.send(Event::Ask(Ask { copies: 1, ..ask(request, FREE, d.now) }));
+        let out =
+            d.send(Event::SessionRequested(SessionRequest { cell_count: 1, ..ask(request, FREE, d.now) }));
         d.plays(request, attempt(&out).unwrap());
-        d.note(request, ServerId(id), Note::Link(0.1));
+        d.note(request, ServerId(id), SessionUpdate::LinkDemand(0.1));
     }
     tick(&mut d, 60);
-    let out = d.send(Event::Ask(Ask { copies: 1, ..ask(18, FREE, d.now) }));
+    let out = d.send(Event::SessionRequested(SessionRequest { cell_count: 1, ..ask(18, FREE, d.now) }));
     assert_eq!(attempt(&out), Some(server));
 }
 
@@ -109,10 +110,10 @@
     let server = attempt(&d.ask(6, FREE)).unwrap();
     d.plays(6, server);
     d.wait(2 * SECOND);
-    d.note(6, server, Note::Delivered(0.3));
+    d.note(6, server, SessionUpdate::DeliveryRatio(0.3));
     d.wait(SECOND);
-    d.note(6, server, Note::Link(0.3));
-    d.note(6, server, Note::Delivered(0.3));
+    d.note(6, server, SessionUpdate::LinkDemand(0.3));
+    d.note(6, server, SessionUpdate::DeliveryRatio(0.3));
     d.wait(500 * MS);
     assert!(rejected(&d.ask(12, FREE)));
     d.wait(10 * SECOND);
@@ -123,16 +124,16 @@
 #[test]
 fn one_short_link_does_not_shut_its_rack() {
     let mut d = Drive::new(settings());
-    let out = d.send(Event::Ask(Ask { copies: 1, ..ask(6, FREE, d.now) }));
+    let out = d.send(Event::SessionRequested(SessionRequest { cell_count: 1, ..ask(6, FREE, d.now) }));
     let server = attempt(&out).unwrap();
     d.plays(6, server);
     for _ in 0..10 {
         d.wait(SECOND);
-        d.note(6, server, Note::Delivered(0.5));
-        d.note(6, server, Note::Link(2.0));
+        d.note(6, server, SessionUpdate::DeliveryRatio(0.5));
+        d.note(6, server, SessionUpdate::LinkDemand(2.0));
     }
     // Server 3 stands in the same rack.
-    let out = d.send(Event::Ask(Ask { copies: 1, ..ask(8, FREE, d.now) }));
+    let out = d.send(Event::SessionRequested(SessionRequest { cell_count: 1, ..ask(8, FREE, d.now) }));
     assert_eq!(attempt(&out), Some(ServerId(3)));
 }
 
@@ -149,7 +150,7 @@
 fn a_failing_server_is_tried_by_free_classes_first_and_comes_back() {
     let mut d = one_server();
     let server = attempt(&d.ask(6, FREE)).unwrap();
-    d.end(6, server, Outcome::Error, false);
+    d.end(6, server, AttemptOutcome::ServerError, false);
     assert!(rejected(&d.ask(12, FREE)));
     d.wait(3 * SECOND);
     assert!(rejected(&d.ask(18, PAID)));
@@ -164,8 +165,8 @@
 fn a_tenant_far_over_its_share_does_not_crowd_out_the_others() {
     let mut d = Drive::new(Settings { tenant_quota: vec![4.0, 4.0], ..settings() });
     let of = |d: &mut Drive, tenant, request| {
-        let ask = Ask { tenant, ..ask(request, FREE, d.now) };
-        d.send(Event::Ask(ask))
+        let ask = SessionRequest { tenant, ..ask(request, FREE, d.now) };
+        d.send(Event::SessionRequested(ask))
     };
     let rungs: Vec<_> = (1..80).filter_map(|n| rung(&of(&mut d, 0, n))).collect();
     assert!(rungs[10..].iter().all(|r| *r == 0), "{rungs:?}");
@@ -176,12 +177,12 @@
 fn a_live_title_takes_little_for_a_further_viewer() {
     let mut s = settings();
     s.classes[0].live = true;
-    s.join = 0.1;
+    s.shared_stream_factor = 0.1;
     let mut d = Drive::new(s);
-    d.send(Event::Roster(RosterKind::Full, vec![listing(1, Phase::Ready, Time(0))]));
+    d.send(Event::EndpointList(EndpointListKind::Full, vec![listing(1, Lifecycle::Ready, Time(0))]));
     let one_title = |d: &mut Drive, n: u64| {
-        let ask = Ask { title: 9, ..ask(n * 6, FREE, d.now) };
-        attempt(&d.send(Event::Ask(ask)))
+        let ask = SessionRequest { title: 9, ..ask(n * 6, FREE, d.now) };
+        attempt(&d.send(Event::SessionRequested(ask)))
     };
     let live = (1..100).map_while(|n| one_title(&mut d, n)).count();
     let mut plain = one_server();
@@ -191,18 +192,19 @@
 
 #[test]
 fn discovery_that_must_be_asked_is_asked_again() {
-    let mut front = Front::new(Settings { must_ask: true, ..settings() }, 1, Time(SECOND));
+    let mut front =
+        PlacementPolicy::new(Settings { discovery_on_request: true, ..settings() }, 1, Time(SECOND));
     let mut out = Vec::new();
-    front.handle(Time(SECOND), Event::Roster(RosterKind::Cached, fleet()), &mut out);
-    assert!(out.contains(&Action::Subscribe));
+    front.handle(Time(SECOND), Event::EndpointList(EndpointListKind::Cached, fleet()), &mut out);
+    assert!(out.contains(&Action::SubscribeEndpoints));
     out.clear();
-    front.handle(Time(4 * SECOND), Event::Roster(RosterKind::Failed, vec![]), &mut out);
-    assert!(out.contains(&Action::Subscribe));
+    front.handle(Time(4 * SECOND), Event::EndpointList(EndpointListKind::Failed, vec![]), &mut out);
+    assert!(out.contains(&Action::SubscribeEndpoints));
     out.clear();
     for t in 5..15 {
         front.handle(Time(t * SECOND), Event::Timer(0), &mut out);
     }
-    assert!(out.contains(&Action::FetchRoster));
+    assert!(out.contains(&Action::FetchEndpoints));
 }
 
 #[test]
@@ -210,7 +212,7 @@
     let mut d = Drive::new(settings());
     let server = attempt(&d.ask(6, FREE)).unwrap();
     d.plays(6, server);
-    assert!(attempt(&d.end(6, server, Outcome::Reset, true)).is_none());
+    assert!(attempt(&d.end(6, server, AttemptOutcome::Reset, true)).is_none());
     for n in 2..20 {
         d.wait(20 * MS);
         assert_ne!(attempt(&d.ask(n * 6, FREE)), Some(server));
@@ -241,7 +243,7 @@
     d.ask(18, FREE);
     d.wait(3 * SECOND);
     assert_eq!(attempt(&d.ask(12, FREE)), Some(server));
-    d.end(6, server, Outcome::Timeout, true);
+    d.end(6, server, AttemptOutcome::Timeout, true);
     d.send(Event::Timer(0));
     assert_eq!(attempt(&d.ask(24, FREE)), Some(server));
 }
@@ -249,20 +251,20 @@
 #[test]
 fn servers_that_are_gone_are_forgotten_and_what_may_matter_of_them_is_not() {
     let mut d = Drive::new(settings());
-    let start = |id: u32, phase| Listing { cell: (id % 6) as u16, ..listing(id, phase, Time(0)) };
-    d.send(Event::Roster(RosterKind::Full, vec![start(1, Phase::Ready)]));
+    let start = |id: u32, phase| Endpoint { cell: (id % 6) as u16, ..listing(id, phase, Time(0)) };
+    d.send(Event::EndpointList(EndpointListKind::Full, vec![start(1, Lifecycle::Ready)]));
     let held = attempt(&d.ask(6, FREE)).expect("there is room");
     d.plays(6, held);
     for id in 2..500 {
-        let next = vec![start(id, Phase::Gone), start(id + 1, Phase::Ready)];
-        d.send(Event::Roster(RosterKind::Delta, next));
+        let next = vec![start(id, Lifecycle::Removed), start(id + 1, Lifecycle::Ready)];
+        d.send(Event::EndpointList(EndpointListKind::Delta, next));
         tick(&mut d, 1);
     }
-    d.send(Event::Roster(RosterKind::Delta, vec![start(1, Phase::Gone)]));
+    d.send(Event::EndpointList(EndpointListKind::Delta, vec![start(1, Lifecycle::Removed)]));
     tick(&mut d, 1);
     let known: Vec<_> = d.front.beliefs(d.now).into_iter().map(|(id, ..)| id.0).collect();
     assert_eq!(known, [1, 500], "one with a session of ours stays until that ends");
-    d.end(6, held, Outcome::Reset, true);
+    d.end(6, held, AttemptOutcome::Reset, true);
     tick(&mut d, 30);
     let known: Vec<_> = d.front.beliefs(d.now).into_iter().map(|(id, ..)| id.0).collect();
     assert_eq!(known, [500], "it is forgotten when it could not be cold any more");
--- a/crates/recovery/src/intents.rs
+++ b/crates/recovery/src/intents.rs
@@ -3,7 +3,7 @@
 //! A paid key has one entry: where its one attempt is out or plays, or that it ran. Danger: a front that forgets an attempt with its
 //! power sets the same key up again, and it is paid twice. Covered: the entry is on disk before the first byte of the attempt leaves;
 //! what became of it is written later and may be lost, since the servers can be asked. Harm: a paid set-up waits for the disk.
-use crate::survives::Thing;
+use crate::power_loss_policy::StateKind;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -18,13 +18,13 @@
 
 /// What became of a paid key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum Fate {
+pub enum IntentOutcome {
     /// An attempt is out, or about to be; it may have run.
-    Out,
+    InFlight,
     /// It plays.
-    Plays,
+    Established,
     /// It ran and is over.
-    Spent,
+    Completed,
     /// It may have run, and its viewer was told that it failed.
     Failed,
 }
@@ -37,62 +37,63 @@
     /// The server of its last attempt.
     pub server: u32,
     /// The attempt's name there.
-    pub name: String,
+    pub attempt_name: String,
     /// The life of that server which was known when it left; empty: none was.
-    pub boot: String,
+    pub server_incarnation: String,
     /// What became of it.
-    pub fate: Fate,
+    pub outcome: IntentOutcome,
     /// Forgotten once all lives of the front together ran for so long, milliseconds. Danger: by the wall clock a host that boots with
     /// the clock of tomorrow would forget what it did a minute ago.
-    pub until: u64,
+    pub retained_until: u64,
 }
 
 /// A change of what is kept.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum Write {
+pub enum StoreWrite {
     /// This entry, in place of any other of the key.
-    Keep(Key, Intent),
+    Put(Key, Intent),
     /// The key may be forgotten: nothing of it ran, or its time is over.
-    Forget(Key),
+    Remove(Key),
     /// The fleet has so many fronts.
-    Fleet(u32),
+    FleetSize(u32),
     /// All lives ran together for so many milliseconds.
-    Ran(u64),
+    Uptime(u64),
     /// This life ends in order.
-    InOrder,
+    CleanShutdown,
 }
 
-impl Write {
+impl StoreWrite {
     /// What it keeps.
-    pub fn thing(&self) -> Thing {
+    pub fn thing(&self) -> StateKind {
         match self {
-            Write::Keep(
+            StoreWrite::Put(
                 _,
                 Intent {
-                    fate: Fate::Out, ..
+                    outcome: IntentOutcome::InFlight,
+                    ..
                 },
-            ) => Thing::Intent,
-            Write::Keep(..) | Write::Forget(_) => Thing::Fate,
-            Write::Fleet(_) => Thing::FleetSize,
-            Write::Ran(_) | Write::InOrder => Thing::Epoch,
+            ) => StateKind::Intent,
+            StoreWrite::Put(..) | StoreWrite::Remove(_) => StateKind::Fate,
+            StoreWrite::FleetSize(_) => StateKind::FleetSize,
+            StoreWrite::Uptime(_) | StoreWrite::CleanShutdown => StateKind::Epoch,
         }
     }
 }
 
 /// How an attempt of a paid key came out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Came {
+pub enum AttemptResult {
     /// It plays.
-    Plays,
+    Established,
     /// It never ran.
     NeverRan,
     /// It plays no more, or it never came to play and may have run.
-    Gone,
+    Ended,
 }
 
 /// The paid keys of this front. Bounded: what ended is forgotten, the oldest first, by time and by number.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub struct Ledger {
+pub struct IntentLedger {
     entries: BTreeMap<Key, Intent>,
     names: BTreeMap<String, Key>,    // Of attempts that are out or play.
     ended: BTreeMap<(u64, Key), ()>, // By the time until which they are kept.
@@ -100,13 +101,13 @@
     most: usize,
 }
 
-impl Ledger {
+impl IntentLedger {
     /// Ended keys are kept for `keep` milliseconds of running time, and `most` of them at most.
-    pub fn new(keep: u64, most: usize, past: &[(Key, Intent)]) -> Ledger {
-        let mut ledger = Ledger {
+    pub fn new(keep: u64, most: usize, past: &[(Key, Intent)]) -> IntentLedger {
+        let mut ledger = IntentLedger {
             keep,
             most,
-            ..Ledger::default()
+            ..IntentLedger::default()
         };
         past.iter()
             .for_each(|(key, intent)| ledger.put(key.clone(), intent.clone()));
@@ -130,98 +131,106 @@
 
     fn put(&mut self, key: Key, intent: Intent) {
         self.take_out(&key);
-        if matches!(intent.fate, Fate::Out | Fate::Plays) {
-            self.names.insert(intent.name.clone(), key.clone());
+        if matches!(
+            intent.outcome,
+            IntentOutcome::InFlight | IntentOutcome::Established
+        ) {
+            self.names.insert(intent.attempt_name.clone(), key.clone());
         } else {
-            self.ended.insert((intent.until, key.clone()), ());
+            self.ended.insert((intent.retained_until, key.clone()), ());
         }
         self.entries.insert(key, intent);
     }
 
     fn take_out(&mut self, key: &Key) -> Option<Intent> {
         let intent = self.entries.remove(key)?;
-        if self.names.get(&intent.name) == Some(key) {
-            self.names.remove(&intent.name);
+        if self.names.get(&intent.attempt_name) == Some(key) {
+            self.names.remove(&intent.attempt_name);
         }
-        self.ended.remove(&(intent.until, key.clone()));
+        self.ended.remove(&(intent.retained_until, key.clone()));
         Some(intent)
     }
 
     /// An attempt is about to leave. It must not before this was written to the end.
-    pub fn intend(
+    pub fn begin_attempt(
         &mut self,
         key: Key,
         class: String,
         server: u32,
         name: String,
         boot: String,
-    ) -> Write {
+    ) -> StoreWrite {
         let intent = Intent {
             class,
             server,
-            name,
-            boot,
-            fate: Fate::Out,
-            until: u64::MAX,
+            attempt_name: name,
+            server_incarnation: boot,
+            outcome: IntentOutcome::InFlight,
+            retained_until: u64::MAX,
         };
         self.put(key.clone(), intent.clone());
-        Write::Keep(key, intent)
+        StoreWrite::Put(key, intent)
     }
 
     /// An attempt came out, by its name; `ran` is how long all lives ran. `None`: it is not one of ours, or nothing changed.
-    pub fn came_out(&mut self, name: &str, how: Came, ran: u64) -> Option<Write> {
+    pub fn attempt_ended(
+        &mut self,
+        name: &str,
+        how: AttemptResult,
+        ran: u64,
+    ) -> Option<StoreWrite> {
         let key = self.names.get(name)?.clone();
         let fate = match how {
-            Came::NeverRan => {
+            AttemptResult::NeverRan => {
                 self.take_out(&key);
-                return Some(Write::Forget(key));
+                return Some(StoreWrite::Remove(key));
             }
-            Came::Plays => Fate::Plays,
-            Came::Gone
+            AttemptResult::Established => IntentOutcome::Established,
+            AttemptResult::Ended
                 if self
                     .entries
                     .get(&key)
-                    .is_some_and(|i| i.fate == Fate::Plays) =>
+                    .is_some_and(|i| i.outcome == IntentOutcome::Established) =>
             {
-                Fate::Spent
+                IntentOutcome::Completed
             }
-            Came::Gone => Fate::Failed,
+            AttemptResult::Ended => IntentOutcome::Failed,
         };
-        self.becomes(&key, fate, ran)
+        self.set_outcome(&key, fate, ran)
     }
 
     /// A key turns out to have come to this.
-    pub fn becomes(&mut self, key: &Key, fate: Fate, ran: u64) -> Option<Write> {
+    pub fn set_outcome(&mut self, key: &Key, fate: IntentOutcome, ran: u64) -> Option<StoreWrite> {
         let before = self.entries.get(key)?;
-        if before.fate == fate {
+        if before.outcome == fate {
             return None;
         }
         let until = match fate {
-            Fate::Out | Fate::Plays => u64::MAX,
-            Fate::Spent | Fate::Failed => ran.saturating_add(self.keep),
+            IntentOutcome::InFlight | IntentOutcome::Established => u64::MAX,
+            IntentOutcome::Completed | IntentOutcome::Failed => ran.saturating_add(self.keep),
         };
         let intent = Intent {
-            fate,
-            until,
+            outcome: fate,
+            retained_until: until,
             ..before.clone()
         };
         self.put(key.clone(), intent.clone());
-        Some(Write::Keep(key.clone(), intent))
+        Some(StoreWrite::Put(key.clone(), intent))
     }
 
     /// A key of which a server's book told and this ledger nothing.
-    pub fn learn(&mut self, key: Key, intent: Intent) -> Write {
+    pub fn insert_recovered(&mut self, key: Key, intent: Intent) -> StoreWrite {
         self.put(key.clone(), intent.clone());
-        Write::Keep(key, intent)
+        StoreWrite::Put(key, intent)
     }
 
     /// Nothing of a key ran, as was proven.
-    pub fn never(&mut self, key: &Key) -> Option<Write> {
-        self.take_out(key).map(|_| Write::Forget(key.clone()))
+    pub fn remove_never_ran(&mut self, key: &Key) -> Option<StoreWrite> {
+        self.take_out(key).map(|_| StoreWrite::Remove(key.clone()))
     }
 
     /// Forgets what is over for long enough, and what is too much; `most_now` entries at a time, so that no call is long.
-    pub fn prune(&mut self, ran: u64, most_now: usize) -> Vec<Write> {
+    pub fn prune(&mut self, ran: u64, most_now: usize) -> Vec<StoreWrite> {
         let mut out = Vec::new();
         while out.len() < most_now {
             let Some((until, key)) = self.ended.keys().next().cloned() else {
@@ -231,7 +240,7 @@
                 break;
             }
             self.take_out(&key);
-            out.push(Write::Forget(key));
+            out.push(StoreWrite::Remove(key));
         }
         out
     }
@@ -248,27 +257,27 @@
         }
     }
 
-    fn out(ledger: &mut Ledger, n: u32) -> Write {
-        ledger.intend(key(n), "paid".into(), 7, format!("name-{n}"), "1".into())
+    fn out(ledger: &mut IntentLedger, n: u32) -> StoreWrite {
+        ledger.begin_attempt(key(n), "paid".into(), 7, format!("name-{n}"), "1".into())
     }
 
     #[test]
     fn an_attempt_that_never_ran_leaves_nothing_and_one_that_may_have_stays() {
-        let mut ledger = Ledger::new(1000, 10, &[]);
-        assert_eq!(out(&mut ledger, 1).thing(), Thing::Intent);
+        let mut ledger = IntentLedger::new(1000, 10, &[]);
+        assert_eq!(out(&mut ledger, 1).thing(), StateKind::Intent);
         assert_eq!(
-            ledger.came_out("name-1", Came::NeverRan, 0),
-            Some(Write::Forget(key(1)))
+            ledger.attempt_ended("name-1", AttemptResult::NeverRan, 0),
+            Some(StoreWrite::Remove(key(1)))
         );
         assert!(ledger.is_empty());
         out(&mut ledger, 2);
-        ledger.came_out("name-2", Came::Gone, 50);
+        ledger.attempt_ended("name-2", AttemptResult::Ended, 50);
         assert_eq!(
-            ledger.get(&key(2)).map(|i| (i.fate, i.until)),
-            Some((Fate::Failed, 1050))
+            ledger.get(&key(2)).map(|i| (i.outcome, i.retained_until)),
+            Some((IntentOutcome::Failed, 1050))
         );
         assert_eq!(
-            ledger.came_out("name-2", Came::NeverRan, 60),
+            ledger.attempt_ended("name-2", AttemptResult::NeverRan, 60),
             None,
             "what failed can't be unsaid by a late word"
         );
@@ -276,61 +285,73 @@
 
     #[test]
     fn what_is_out_or_plays_is_never_pruned_and_the_rest_by_time_and_number() {
-        let mut ledger = Ledger::new(1000, 2, &[]);
+        let mut ledger = IntentLedger::new(1000, 2, &[]);
         for n in 0..6 {
             out(&mut ledger, n);
         }
         for n in 2..6u32 {
-            ledger.came_out(&format!("name-{n}"), Came::Plays, 0);
-            ledger.came_out(&format!("name-{n}"), Came::Gone, u64::from(n));
+            ledger.attempt_ended(&format!("name-{n}"), AttemptResult::Established, 0);
+            ledger.attempt_ended(&format!("name-{n}"), AttemptResult::Ended, u64::from(n));
         }
-        assert_eq!(ledger.prune(5, 1), [Write::Forget(key(2))], "one at a time");
+        assert_eq!(
+            ledger.prune(5, 1),
+            [StoreWrite::Remove(key(2))],
+            "one at a time"
+        );
         assert_eq!(
             ledger.prune(5, 100),
-            [Write::Forget(key(3))],
+            [StoreWrite::Remove(key(3))],
             "two are kept"
         );
-        assert_eq!(ledger.prune(1004, 100), [Write::Forget(key(4))]);
-        assert_eq!(ledger.prune(u64::MAX - 1, 100), [Write::Forget(key(5))]);
+        assert_eq!(ledger.prune(1004, 100), [StoreWrite::Remove(key(4))]);
+        assert_eq!(
+            ledger.prune(u64::MAX - 1, 100),
+            [StoreWrite::Remove(key(5))]
+        );
         assert_eq!(ledger.len(), 2, "two are out");
     }
 
     #[test]
     fn nothing_worthless_is_ever_written() {
-        let mut ledger = Ledger::new(1, 1, &[]);
+        let mut ledger = IntentLedger::new(1, 1, &[]);
         let mut writes = vec![
             out(&mut ledger, 1),
-            Write::Fleet(3),
-            Write::Ran(1),
-            Write::InOrder,
+            StoreWrite::FleetSize(3),
+            StoreWrite::Uptime(1),
+            StoreWrite::CleanShutdown,
         ];
-        writes.extend(ledger.came_out("name-1", Came::Gone, 0));
+        writes.extend(ledger.attempt_ended("name-1", AttemptResult::Ended, 0));
         writes.extend(ledger.prune(u64::MAX, 9));
         assert_eq!(writes.len(), 6);
         assert!(writes
             .iter()
-            .all(|w| w.thing().after() != crate::After::Worthless));
+            .all(|w| w.thing().after() != crate::PowerLossPolicy::Discarded));
     }
 
     #[test]
     fn a_ledger_goes_on_where_the_last_one_stood() {
-        let mut first = Ledger::new(1000, 10, &[]);
+        let mut first = IntentLedger::new(1000, 10, &[]);
         let writes = [out(&mut first, 1), out(&mut first, 2)];
         let kept: Vec<(Key, Intent)> = writes
             .into_iter()
             .filter_map(|w| {
-                if let Write::Keep(key, intent) = w {
+                if let StoreWrite::Put(key, intent) = w {
                     Some((key, intent))
                 } else {
                     None
                 }
             })
             .collect();
-        let mut second = Ledger::new(1000, 10, &kept);
+        let mut second = IntentLedger::new(1000, 10, &kept);
+        assert_eq!(
+            second
+                .attempt_ended("name-2", AttemptResult::Established, 0)
+                .map(|w| w.thing()),
+            Some(StateKind::Fate)
+        );
         assert_eq!(
-            second.came_out("name-2", Came::Plays, 0).map(|w| w.thing()),
-            Some(Thing::Fate)
+            second.get(&key(1)).map(|i| i.outcome),
+            Some(IntentOutcome::InFlight)
         );
-        assert_eq!(second.get(&key(1)).map(|i| i.fate), Some(Fate::Out));
     }
 }
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -2,10 +2,10 @@
 //!
 //! No I/O and no clock: what was kept, what servers say and the time go in, verdicts and stages come out.
 //!
-//! - [`survives`]: for each thing that a front knows, what it is worth after its host lost power;
-//! - [`past`]: what a front starts from;
+//! - [`power_loss_policy`]: for each thing that a front knows, what it is worth after its host lost power;
+//! - [`recovered_state`]: what a front starts from;
 //! - [`intents`]: the ledger of paid set-ups, each written down before its first byte leaves;
-//! - [`settle`]: what becomes of those that a former life left open, by the books of the servers;
+//! - [`reconciliation`]: what becomes of those that a former life left open, by the books of the servers;
 //! - [`stages`]: dark, reading, settling, paid, all, normal.
 //!
 //! The law: what was kept, or is heard from a server's book, may make a front more careful. Where it is wrong, old, torn or gone, worth
@@ -13,13 +13,17 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 pub mod intents;
-pub mod past;
-pub mod settle;
+pub mod power_loss_policy;
+pub mod reconciliation;
+pub mod recovered_state;
 pub mod stages;
-pub mod survives;
 
-pub use intents::{Fate, Intent, Key, Ledger, Write};
-pub use past::{Ended, Past};
-pub use settle::{Book, Held, Settling, Step, Verdict};
-pub use stages::{Evidence, Returning, Stage, Terms, Verdict as Admission};
-pub use survives::{After, Careful, Holds, Thing};
+pub use intents::{Intent, IntentLedger, IntentOutcome, Key, StoreWrite};
+pub use power_loss_policy::{ConservativeBound, PowerLossPolicy, StateKind, StillValid};
+pub use reconciliation::{
+    InventorySession, Reconciliation, ReconciliationStep, Resolution, SessionInventory,
+};
+pub use recovered_state::{PreviousShutdown, RecoveredState};
+pub use stages::{
+    RecoveryAdmission as Admission, RecoveryStage, StageEvidence, StageTimeouts, StagedRecovery,
+};
--- a/crates/recovery/src/settle.rs
+++ b/crates/recovery/src/reconciliation.rs
@@ -4,12 +4,12 @@
 //! that is still on its way may run after the book was read. Covered: an attempt that the book does not have is ended by its name
 //! (a server refuses a set-up that comes after its end), and the book is read once more; only then it never ran. A book that does
 //! not reach back to the life of the server that the attempt was sent to proves nothing, and the key counts as run.
-use crate::intents::{Fate, Intent, Key};
+use crate::intents::{Intent, IntentOutcome, Key};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A session that a server holds for this front.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub struct Held {
+pub struct InventorySession {
     /// Its name there.
     pub name: String,
     /// Whose it is and what it is billed under.
@@ -24,37 +24,37 @@
 
 /// A server's word on one front.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub struct Book {
+pub struct SessionInventory {
     /// Lives of the server that the book reaches over without a gap, the present one last.
-    pub boots: Vec<String>,
+    pub incarnations: Vec<String>,
     /// Sessions that it holds.
-    pub held: Vec<Held>,
+    pub sessions: Vec<InventorySession>,
     /// Names of set-ups that it works on.
-    pub under_way: Vec<String>,
+    pub in_progress: Vec<String>,
     /// Paid keys that it ran in those lives, held or not.
-    pub ran: Vec<Key>,
+    pub completed: Vec<Key>,
 }
 
 /// What a book proves.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Verdict {
+pub enum Resolution {
     /// The session plays at this server: it is taken up, and waits for its viewer.
-    Adopt(u32, Held),
+    Adopt(u32, InventorySession),
     /// The session plays at this server, and its viewer was told already that it failed: it is ended.
-    Drop(u32, String),
+    TearDown(u32, String),
     /// The key's session ran and is over.
-    Spent(Key),
+    Completed(Key),
     /// It may have run, and nobody can say any more that it did not.
-    Failed(Key),
+    Unprovable(Key),
     /// It never ran, and never will.
-    Never(Key),
+    NeverRan(Key),
 }
 
 /// What is to be asked of a server.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Step {
+pub enum ReconciliationStep {
     /// Ask for its book.
-    Ask(u32),
+    RequestInventory(u32),
     /// End the attempt of this name there, then ask for the book again.
     Fence(u32, String),
 }
@@ -78,23 +78,26 @@
 
 /// Settles what former lives left open.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub struct Settling {
+pub struct Reconciliation {
     open: BTreeMap<String, Open>, // By the attempt's name.
     servers: BTreeMap<u32, Asked>,
     fencing: BTreeMap<u32, BTreeSet<String>>, // Ends under way.
 }
 
-impl Settling {
+impl Reconciliation {
     /// Of what was kept.
-    pub fn new(past: &[(Key, Intent)]) -> Settling {
-        let left = past
-            .iter()
-            .filter(|(_, i)| matches!(i.fate, Fate::Out | Fate::Plays));
+    pub fn new(past: &[(Key, Intent)]) -> Reconciliation {
+        let left = past.iter().filter(|(_, i)| {
+            matches!(
+                i.outcome,
+                IntentOutcome::InFlight | IntentOutcome::Established
+            )
+        });
         let open = left.map(|(key, i)| {
-            let (key, server, boot) = (key.clone(), i.server, i.boot.clone());
-            let plays = i.fate == Fate::Plays;
+            let (key, server, boot) = (key.clone(), i.server, i.server_incarnation.clone());
+            let plays = i.outcome == IntentOutcome::Established;
             (
-                i.name.clone(),
+                i.attempt_name.clone(),
                 Open {
                     key,
                     server,
@@ -105,14 +108,14 @@
                 },
             )
         });
-        Settling {
+        Reconciliation {
             open: open.collect(),
-            ..Settling::default()
+            ..Reconciliation::default()
         }
     }
 
     /// Attempts of former lives of which nobody has told what became.
-    pub fn open(&self) -> usize {
+    pub fn unresolved_count(&self) -> usize {
         self.open.len()
     }
 
@@ -127,16 +130,19 @@
     }
 
     /// Whether each server that is listed told all it was asked, or can't be reached.
-    pub fn settled(&self) -> bool {
+    pub fn is_complete(&self) -> bool {
         self.fencing.is_empty() && !self.servers.values().any(|a| *a == Asked::UnderWay)
     }
 
     /// These servers are listed.
-    pub fn listed(&mut self, servers: impl IntoIterator<Item = u32>) -> Vec<Step> {
+    pub fn update_servers(
+        &mut self,
+        servers: impl IntoIterator<Item = u32>,
+    ) -> Vec<ReconciliationStep> {
         let mut steps = Vec::new();
         for server in servers {
             self.servers.entry(server).or_insert_with(|| {
-                steps.push(Step::Ask(server));
+                steps.push(ReconciliationStep::RequestInventory(server));
                 Asked::UnderWay
             });
         }
@@ -144,7 +150,7 @@
     }
 
     /// A server can't be reached, or does not tell.
-    pub fn silent(&mut self, server: u32) {
+    pub fn server_unreachable(&mut self, server: u32) {
         self.fencing.remove(&server);
         if let Some(asked) = self
             .servers
@@ -156,17 +162,17 @@
     }
 
     /// A server that was out of reach is there: it is asked after all.
-    pub fn back(&mut self, server: u32) -> Option<Step> {
+    pub fn server_reachable(&mut self, server: u32) -> Option<ReconciliationStep> {
         let asked = self
             .servers
             .get_mut(&server)
             .filter(|a| **a == Asked::OutOfReach)?;
         *asked = Asked::UnderWay;
-        Some(Step::Ask(server))
+        Some(ReconciliationStep::RequestInventory(server))
     }
 
     /// What is open still counts as run from now on: its viewers do not wait any longer. Gives those keys.
-    pub fn give_up(&mut self) -> Vec<Key> {
+    pub fn time_out(&mut self) -> Vec<Key> {
         let left = self.open.values_mut().filter(|o| !o.given_up);
         left.map(|o| {
             o.given_up = true;
@@ -176,7 +182,7 @@
     }
 
     /// An attempt was ended at its server, so that it can't run any more. `None`: more ends are awaited there.
-    pub fn fenced(&mut self, server: u32, name: &str) -> Option<Step> {
+    pub fn fence_confirmed(&mut self, server: u32, name: &str) -> Option<ReconciliationStep> {
         if let Some(open) = self.open.get_mut(name) {
             open.fenced = true;
         }
@@ -186,37 +192,37 @@
             return None;
         }
         self.fencing.remove(&server);
-        Some(Step::Ask(server))
+        Some(ReconciliationStep::RequestInventory(server))
     }
 
     /// A server told its book. `own`: whether this life of the front gave a name; such sessions are none of the past's.
-    pub fn told(
+    pub fn receive_inventory(
         &mut self,
         server: u32,
-        book: &Book,
+        book: &SessionInventory,
         own: impl Fn(&str) -> bool,
-    ) -> (Vec<Verdict>, Vec<Step>) {
+    ) -> (Vec<Resolution>, Vec<ReconciliationStep>) {
         let (mut verdicts, mut steps) = (Vec::new(), Vec::new());
-        let ran: BTreeSet<&Key> = book.ran.iter().collect();
+        let ran: BTreeSet<&Key> = book.completed.iter().collect();
         let mut told: BTreeSet<Key> = BTreeSet::new();
-        for held in book.held.iter().filter(|h| !own(&h.name)) {
+        for held in book.sessions.iter().filter(|h| !own(&h.name)) {
             let given_up = self.open.remove(&held.name).is_some_and(|o| o.given_up);
             told.insert(held.key.clone());
             verdicts.push(if given_up {
-                Verdict::Drop(server, held.name.clone())
+                Resolution::TearDown(server, held.name.clone())
             } else {
-                Verdict::Adopt(server, held.clone())
+                Resolution::Adopt(server, held.clone())
             });
         }
         // Danger: a disk that was lost does not know of a set-up that a server still works on; it would run after this look, and its key
         // be sold again. It is ended, or has run by the next look.
         for name in book
-            .under_way
+            .in_progress
             .iter()
             .filter(|name| !own(name) && !self.open.contains_key(*name))
         {
             self.fencing.entry(server).or_default().insert(name.clone());
-            steps.push(Step::Fence(server, name.clone()));
+            steps.push(ReconciliationStep::Fence(server, name.clone()));
         }
         let names: Vec<String> = self
             .open
@@ -226,16 +232,16 @@
             .collect();
         for name in names {
             let open = &self.open[&name];
-            let known = !open.boot.is_empty() && book.boots.contains(&open.boot);
+            let known = !open.boot.is_empty() && book.incarnations.contains(&open.boot);
             let verdict = if open.plays {
-                Verdict::Spent(open.key.clone())
+                Resolution::Completed(open.key.clone())
             } else if ran.contains(&open.key) || !known {
-                Verdict::Failed(open.key.clone())
+                Resolution::Unprovable(open.key.clone())
             } else if open.fenced {
-                Verdict::Never(open.key.clone())
+                Resolution::NeverRan(open.key.clone())
             } else {
                 self.fencing.entry(server).or_default().insert(name.clone());
-                steps.push(Step::Fence(server, name));
+                steps.push(ReconciliationStep::Fence(server, name));
                 continue;
             };
             told.insert(open.key.clone());
@@ -245,11 +251,11 @@
         // Danger: the disk may have lost its last words, or all. What a server ran is not set up again, whatever was kept.
         let waits = |key: &Key| self.open.values().any(|o| o.key == *key);
         let unheard = book
-            .ran
+            .completed
             .iter()
             .filter(|key| !told.contains(*key) && !waits(key))
             .cloned();
-        verdicts.extend(unheard.map(Verdict::Spent));
+        verdicts.extend(unheard.map(Resolution::Completed));
         if steps.is_empty() {
             self.servers.insert(server, Asked::Told);
         }
@@ -268,32 +274,32 @@
         }
     }
 
-    fn left(n: u32, server: u32, fate: Fate) -> (Key, Intent) {
+    fn left(n: u32, server: u32, fate: IntentOutcome) -> (Key, Intent) {
         let (class, name, boot) = ("paid".to_owned(), format!("n{n}"), "4".to_owned());
         (
             key(n),
             Intent {
                 class,
                 server,
-                name,
-                boot,
-                fate,
-                until: u64::MAX,
+                attempt_name: name,
+                server_incarnation: boot,
+                outcome: fate,
+                retained_until: u64::MAX,
             },
         )
     }
 
-    fn book(boots: &[&str], held: &[u32], ran: &[u32]) -> Book {
-        let held = held.iter().map(|n| Held {
+    fn book(boots: &[&str], held: &[u32], ran: &[u32]) -> SessionInventory {
+        let held = held.iter().map(|n| InventorySession {
             name: format!("n{n}"),
             key: key(*n),
-            ..Held::default()
+            ..InventorySession::default()
         });
-        Book {
-            boots: boots.iter().map(|b| (*b).to_owned()).collect(),
-            held: held.collect(),
-            ran: ran.iter().map(|n| key(*n)).collect(),
-            under_way: Vec::new(),
+        SessionInventory {
+            incarnations: boots.iter().map(|b| (*b).to_owned()).collect(),
+            sessions: held.collect(),
+            completed: ran.iter().map(|n| key(*n)).collect(),
+            in_progress: Vec::new(),
         }
     }
 
@@ -303,46 +309,55 @@
 
     #[test]
     fn never_ran_is_proven_only_after_the_end_and_a_second_look() {
-        let mut s = Settling::new(&[left(1, 7, Fate::Out)]);
-        assert_eq!(s.listed([7]), [Step::Ask(7)]);
+        let mut s = Reconciliation::new(&[left(1, 7, IntentOutcome::InFlight)]);
+        assert_eq!(
+            s.update_servers([7]),
+            [ReconciliationStep::RequestInventory(7)]
+        );
         let empty = book(&["4"], &[], &[]);
         assert_eq!(
-            s.told(7, &empty, none),
-            (vec![], vec![Step::Fence(7, "n1".into())])
+            s.receive_inventory(7, &empty, none),
+            (vec![], vec![ReconciliationStep::Fence(7, "n1".into())])
         );
-        assert!(!s.settled());
-        assert_eq!(s.fenced(7, "n1"), Some(Step::Ask(7)));
-        assert_eq!(s.told(7, &empty, none).0, [Verdict::Never(key(1))]);
-        assert!(s.settled() && s.open() == 0);
+        assert!(!s.is_complete());
+        assert_eq!(
+            s.fence_confirmed(7, "n1"),
+            Some(ReconciliationStep::RequestInventory(7))
+        );
+        assert_eq!(
+            s.receive_inventory(7, &empty, none).0,
+            [Resolution::NeverRan(key(1))]
+        );
+        assert!(s.is_complete() && s.unresolved_count() == 0);
     }
 
     #[test]
     fn what_ran_between_the_two_looks_has_run() {
-        let mut s = Settling::new(&[left(1, 7, Fate::Out)]);
-        s.listed([7]);
-        s.told(7, &book(&["4"], &[], &[]), none);
-        s.fenced(7, "n1");
+        let mut s = Reconciliation::new(&[left(1, 7, IntentOutcome::InFlight)]);
+        s.update_servers([7]);
+        s.receive_inventory(7, &book(&["4"], &[], &[]), none);
+        s.fence_confirmed(7, "n1");
         assert_eq!(
-            s.told(7, &book(&["4"], &[], &[1]), none).0,
-            [Verdict::Failed(key(1))]
+            s.receive_inventory(7, &book(&["4"], &[], &[1]), none).0,
+            [Resolution::Unprovable(key(1))]
         );
     }
 
     #[test]
     fn a_book_that_does_not_reach_back_proves_nothing() {
         for boots in [&["5"][..], &[]] {
-            let mut s = Settling::new(&[left(1, 7, Fate::Out)]);
-            s.listed([7]);
+            let mut s = Reconciliation::new(&[left(1, 7, IntentOutcome::InFlight)]);
+            s.update_servers([7]);
             assert_eq!(
-                s.told(7, &book(boots, &[], &[]), none).0,
-                [Verdict::Failed(key(1))]
+                s.receive_inventory(7, &book(boots, &[], &[]), none).0,
+                [Resolution::Unprovable(key(1))]
             );
         }
-        let mut s = Settling::new(&[left(1, 7, Fate::Out)]);
+        let mut s = Reconciliation::new(&[left(1, 7, IntentOutcome::InFlight)]);
         assert!(
             matches!(
-                s.told(7, &book(&["4", "5"], &[], &[]), none).1[..],
-                [Step::Fence(..)]
+                s.receive_inventory(7, &book(&["4", "5"], &[], &[]), none).1[..],
+                [ReconciliationStep::Fence(..)]
             ),
             "it reaches over both"
         );
@@ -350,15 +365,15 @@
 
     #[test]
     fn what_is_held_is_taken_up_and_what_is_over_is_spent() {
-        let mut s = Settling::new(&[
-            left(1, 7, Fate::Out),
-            left(2, 7, Fate::Plays),
-            left(3, 8, Fate::Plays),
+        let mut s = Reconciliation::new(&[
+            left(1, 7, IntentOutcome::InFlight),
+            left(2, 7, IntentOutcome::Established),
+            left(3, 8, IntentOutcome::Established),
         ]);
-        s.listed([7, 8]);
-        let (verdicts, _) = s.told(7, &book(&["4"], &[1, 9], &[1]), none);
-        let adopted = |v: &Verdict| {
-            if let Verdict::Adopt(7, held) = v {
+        s.update_servers([7, 8]);
+        let (verdicts, _) = s.receive_inventory(7, &book(&["4"], &[1, 9], &[1]), none);
+        let adopted = |v: &Resolution| {
+            if let Resolution::Adopt(7, held) = v {
                 Some(held.name.clone())
             } else {
                 None
@@ -368,85 +383,93 @@
             verdicts.iter().filter_map(adopted).collect::<Vec<_>>(),
             ["n1", "n9"]
         );
-        assert!(verdicts.contains(&Verdict::Spent(key(2))) && verdicts.len() == 3);
-        assert_eq!(s.open(), 1, "the one at the other server");
+        assert!(verdicts.contains(&Resolution::Completed(key(2))) && verdicts.len() == 3);
+        assert_eq!(s.unresolved_count(), 1, "the one at the other server");
     }
 
     #[test]
     fn sessions_of_this_life_are_left_alone() {
-        let mut s = Settling::new(&[]);
+        let mut s = Reconciliation::new(&[]);
         assert_eq!(
-            s.told(7, &book(&["4"], &[1], &[]), |name| name == "n1").0,
+            s.receive_inventory(7, &book(&["4"], &[1], &[]), |name| name == "n1")
+                .0,
             []
         );
     }
 
     #[test]
     fn a_lost_disk_is_made_good_by_what_servers_ran() {
-        let mut s = Settling::new(&[]);
-        s.listed([7]);
+        let mut s = Reconciliation::new(&[]);
+        s.update_servers([7]);
         assert_eq!(
-            s.told(7, &book(&["4"], &[], &[1, 2]), none).0,
-            [Verdict::Spent(key(1)), Verdict::Spent(key(2))]
+            s.receive_inventory(7, &book(&["4"], &[], &[1, 2]), none).0,
+            [Resolution::Completed(key(1)), Resolution::Completed(key(2))]
         );
     }
 
     #[test]
     fn a_set_up_under_way_that_nobody_remembers_is_ended_before_anything_is_served() {
-        let mut s = Settling::new(&[]);
-        s.listed([7]);
-        let works = Book {
-            under_way: vec!["n5".into()],
+        let mut s = Reconciliation::new(&[]);
+        s.update_servers([7]);
+        let works = SessionInventory {
+            in_progress: vec!["n5".into()],
             ..book(&["4"], &[], &[])
         };
         assert_eq!(
-            s.told(7, &works, none),
-            (vec![], vec![Step::Fence(7, "n5".into())])
+            s.receive_inventory(7, &works, none),
+            (vec![], vec![ReconciliationStep::Fence(7, "n5".into())])
         );
-        assert!(!s.settled());
-        assert_eq!(s.fenced(7, "n5"), Some(Step::Ask(7)));
+        assert!(!s.is_complete());
         assert_eq!(
-            s.told(7, &book(&["4"], &[], &[5]), none).0,
-            [Verdict::Spent(key(5))],
+            s.fence_confirmed(7, "n5"),
+            Some(ReconciliationStep::RequestInventory(7))
+        );
+        assert_eq!(
+            s.receive_inventory(7, &book(&["4"], &[], &[5]), none).0,
+            [Resolution::Completed(key(5))],
             "it ran meanwhile"
         );
-        assert!(s.settled());
+        assert!(s.is_complete());
     }
 
     #[test]
     fn a_server_out_of_reach_holds_nobody_up_and_is_asked_when_it_is_back() {
-        let mut s = Settling::new(&[left(1, 7, Fate::Out)]);
-        s.listed([7, 8]);
-        s.told(8, &book(&["1"], &[], &[]), none);
-        assert!(!s.settled());
-        s.silent(7);
-        assert!(s.settled() && s.counts() == (1, 1, 0));
-        assert_eq!(s.give_up(), [key(1)]);
-        assert_eq!(s.give_up(), [], "said once");
+        let mut s = Reconciliation::new(&[left(1, 7, IntentOutcome::InFlight)]);
+        s.update_servers([7, 8]);
+        s.receive_inventory(8, &book(&["1"], &[], &[]), none);
+        assert!(!s.is_complete());
+        s.server_unreachable(7);
+        assert!(s.is_complete() && s.counts() == (1, 1, 0));
+        assert_eq!(s.time_out(), [key(1)]);
+        assert_eq!(s.time_out(), [], "said once");
         assert_eq!(
-            (s.back(7), s.back(7), s.back(8)),
-            (Some(Step::Ask(7)), None, None)
+            (
+                s.server_reachable(7),
+                s.server_reachable(7),
+                s.server_reachable(8)
+            ),
+            (Some(ReconciliationStep::RequestInventory(7)), None, None)
         );
         // Its viewer was told that it failed, so nobody comes for it.
         assert_eq!(
-            s.told(7, &book(&["4"], &[1], &[1]), none).0,
-            [Verdict::Drop(7, "n1".into())]
+            s.receive_inventory(7, &book(&["4"], &[1], &[1]), none).0,
+            [Resolution::TearDown(7, "n1".into())]
         );
     }
 
     #[test]
     fn a_bill_of_one_server_does_not_decide_on_an_attempt_at_another() {
         // The first attempt never ran at 8, by its own word; the second is open at 7. What 8 ran under this key was before.
-        let mut s = Settling::new(&[left(1, 7, Fate::Out)]);
-        s.listed([7, 8]);
+        let mut s = Reconciliation::new(&[left(1, 7, IntentOutcome::InFlight)]);
+        s.update_servers([7, 8]);
         assert_eq!(
-            s.told(8, &book(&["4"], &[], &[1]), none).0,
+            s.receive_inventory(8, &book(&["4"], &[], &[1]), none).0,
             [],
             "7 is still to tell"
         );
-        s.told(7, &book(&["4"], &[], &[]), none);
-        s.fenced(7, "n1");
-        let (verdicts, _) = s.told(7, &book(&["4"], &[], &[]), none);
-        assert_eq!(verdicts, [Verdict::Never(key(1))]);
+        s.receive_inventory(7, &book(&["4"], &[], &[]), none);
+        s.fence_confirmed(7, "n1");
+        let (verdicts, _) = s.receive_inventory(7, &book(&["4"], &[], &[]), none);
+        assert_eq!(verdicts, [Resolution::NeverRan(key(1))]);
     }
 }
--- a/crates/recovery/src/past.rs
+++ b/crates/recovery/src/recovered_state.rs
@@ -1,14 +1,14 @@
 //! What a front starts from.
 use crate::intents::{Intent, Key};
-use crate::survives::{Careful, Holds};
+use crate::power_loss_policy::{ConservativeBound, StillValid};
 
 /// How the former life ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ended {
+pub enum PreviousShutdown {
     /// There is nothing of a former life: this is the first, or its disk was lost.
     Unknown,
     /// In order: nothing was left open.
-    InOrder,
+    Clean,
     /// The process ended without a word; its host went on.
     Killed,
     /// Its host was booted since.
@@ -17,15 +17,15 @@
 
 /// What a front starts from.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Past {
+pub struct RecoveredState {
     /// How often it started, this time with it.
-    pub epoch: Holds<u64>,
+    pub epoch: StillValid<u64>,
     /// Paid keys of former lives.
-    pub intents: Holds<Vec<(Key, Intent)>>,
+    pub intents: StillValid<Vec<(Key, Intent)>>,
     /// So many fronts the fleet had at the most that was known.
-    pub fleet: Careful<u32>,
+    pub fleet_size: ConservativeBound<u32>,
     /// How the former life ended.
-    pub ended: Ended,
+    pub shutdown: PreviousShutdown,
     /// Milliseconds that all lives ran together, as far as they were kept.
-    pub ran: Holds<u64>,
+    pub uptime_ms: StillValid<u64>,
 }
--- a/crates/recovery/tests/crash.rs
+++ b/crates/recovery/tests/crash.rs
@@ -2,8 +2,11 @@
 //! do. The ledger and the settling are the front's own; what is around them is a model. Each guard is taken out in turn, and must be
 //! missed.
 #![allow(clippy::struct_excessive_bools, clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
-use crankpaddle_recovery::intents::Came;
-use crankpaddle_recovery::{Book, Fate, Held, Intent, Key, Ledger, Settling, Step, Verdict, Write};
+use crankpaddle_recovery::intents::AttemptResult;
+use crankpaddle_recovery::{
+    Intent, IntentLedger, IntentOutcome, InventorySession, Key, Reconciliation, ReconciliationStep,
+    Resolution, SessionInventory, StoreWrite,
+};
 use stateright::{Checker, Model, Property};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -34,12 +37,12 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Front {
-    ledger: Ledger,
-    settling: Settling,
+    ledger: IntentLedger,
+    settling: Reconciliation,
     waits: Option<String>, // An attempt, for the disk.
     own: BTreeSet<String>, // Names that this life gave.
     asked: bool,           // For the server's book, and what is on its way back.
-    book: Option<Book>,
+    book: Option<SessionInventory>,
     fences: BTreeSet<String>, // Ends on their way there, and back.
     fenced: BTreeSet<String>,
     serves: bool,
@@ -48,7 +51,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Default)]
 struct State {
     disk: BTreeMap<Key, Intent>,
-    unsynced: Vec<Write>,
+    unsynced: Vec<StoreWrite>,
     front: Option<Front>,
     names: u8,
     flying: BTreeSet<String>, // Set-ups on the wire, worked on, playing; ended names.
@@ -88,75 +91,77 @@
     }
 }
 
-fn intent(class: String, name: String, fate: Fate) -> Intent {
+fn intent(class: String, name: String, fate: IntentOutcome) -> Intent {
     Intent {
         class,
         server: SERVER,
-        name,
-        boot: "1".into(),
-        fate,
-        until: 0,
+        attempt_name: name,
+        server_incarnation: "1".into(),
+        outcome: fate,
+        retained_until: 0,
     }
 }
 
-fn apply(disk: &mut BTreeMap<Key, Intent>, write: &Write) {
+fn apply(disk: &mut BTreeMap<Key, Intent>, write: &StoreWrite) {
     match write {
-        Write::Keep(key, intent) => drop(disk.insert(key.clone(), intent.clone())),
-        Write::Forget(key) => drop(disk.remove(key)),
-        Write::Fleet(_) | Write::Ran(_) | Write::InOrder => {}
+        StoreWrite::Put(key, intent) => drop(disk.insert(key.clone(), intent.clone())),
+        StoreWrite::Remove(key) => drop(disk.remove(key)),
+        StoreWrite::FleetSize(_) | StoreWrite::Uptime(_) | StoreWrite::CleanShutdown => {}
     }
 }
 
 impl State {
-    fn take_steps(&mut self, steps: Vec<Step>, guards: Guards) {
+    fn take_steps(&mut self, steps: Vec<ReconciliationStep>, guards: Guards) {
         let Some(front) = &mut self.front else { return };
         for step in steps {
             match step {
-                Step::Ask(_) => front.asked = true,
-                Step::Fence(_, name) if guards.fence => drop(front.fences.insert(name)),
+                ReconciliationStep::RequestInventory(_) => front.asked = true,
+                ReconciliationStep::Fence(_, name) if guards.fence => {
+                    front.fences.insert(name);
+                }
                 // Said to be ended, and it is not.
-                Step::Fence(_, name) => drop(front.fenced.insert(name)),
+                ReconciliationStep::Fence(_, name) => drop(front.fenced.insert(name)),
             }
         }
-        front.serves |= front.settling.settled();
+        front.serves |= front.settling.is_complete();
     }
 
-    fn hear(&mut self, verdicts: Vec<Verdict>, guards: Guards) {
+    fn hear(&mut self, verdicts: Vec<Resolution>, guards: Guards) {
         let Some(front) = &mut self.front else { return };
         for verdict in verdicts {
             let write = match verdict {
-                Verdict::Adopt(_, held) => Some(
-                    front
-                        .ledger
-                        .learn(held.key, intent(held.class, held.name, Fate::Plays)),
-                ),
-                Verdict::Never(key) => front.ledger.never(&key),
-                Verdict::Spent(key) | Verdict::Failed(key) => match front.ledger.get(&key) {
-                    Some(_) => front.ledger.becomes(&key, Fate::Failed, 0),
-                    None if guards.books => Some(
-                        front
-                            .ledger
-                            .learn(key, intent(String::new(), String::new(), Fate::Spent)),
-                    ),
-                    None => None,
-                },
-                Verdict::Drop(..) => None,
+                Resolution::Adopt(_, held) => Some(front.ledger.insert_recovered(
+                    held.key,
+                    intent(held.class, held.name, IntentOutcome::Established),
+                )),
+                Resolution::NeverRan(key) => front.ledger.remove_never_ran(&key),
+                Resolution::Completed(key) | Resolution::Unprovable(key) => {
+                    match front.ledger.get(&key) {
+                        Some(_) => front.ledger.set_outcome(&key, IntentOutcome::Failed, 0),
+                        None if guards.books => Some(front.ledger.insert_recovered(
+                            key,
+                            intent(String::new(), String::new(), IntentOutcome::Completed),
+                        )),
+                        None => None,
+                    }
+                }
+                Resolution::TearDown(..) => None,
             };
             self.unsynced.extend(write);
         }
     }
 
-    fn book(&self) -> Book {
-        let held = |name: &String| Held {
+    fn book(&self) -> SessionInventory {
+        let held = |name: &String| InventorySession {
             name: name.clone(),
             key: key(),
-            ..Held::default()
+            ..InventorySession::default()
         };
-        Book {
-            boots: vec!["1".into()],
-            held: self.plays.iter().map(held).collect(),
-            under_way: self.works.iter().cloned().collect(),
-            ran: vec![key(); usize::from(self.sold > 0)],
+        SessionInventory {
+            incarnations: vec!["1".into()],
+            sessions: self.plays.iter().map(held).collect(),
+            in_progress: self.works.iter().cloned().collect(),
+            completed: vec![key(); usize::from(self.sold > 0)],
         }
     }
 }
@@ -185,17 +190,17 @@
             }
             return;
         };
-        let known = front.ledger.get(&key()).map(|i| i.fate);
+        let known = front.ledger.get(&key()).map(|i| i.outcome);
         if front.serves && known.is_none() && front.waits.is_none() && s.names < 3 {
             out.push(Action::Ask);
         }
         if !s.unsynced.is_empty() {
             out.push(Action::Sync);
         }
-        if known == Some(Fate::Out) {
+        if known == Some(IntentOutcome::InFlight) {
             out.extend(each(&s.plays, Action::Answers));
         }
-        if known == Some(Fate::Plays) {
+        if known == Some(IntentOutcome::Established) {
             out.extend(each(&s.plays, Action::Close));
         }
         if front.asked {
@@ -216,13 +221,15 @@
         match action {
             Action::Start => {
                 let past: Vec<(Key, Intent)> = s.disk.clone().into_iter().collect();
-                let mut settling = Settling::new(&past);
-                let steps = settling.listed([SERVER]);
-                let mut ledger = Ledger::new(1000, 10, &past);
+                let mut settling = Reconciliation::new(&past);
+                let steps = settling.update_servers([SERVER]);
+                let mut ledger = IntentLedger::new(1000, 10, &past);
                 if !guards.settled_first {
                     // What is open is taken for never begun.
-                    let open = past.iter().filter(|(_, i)| i.fate == Fate::Out);
-                    open.for_each(|(key, _)| drop(ledger.never(key)));
+                    let open = past
+                        .iter()
+                        .filter(|(_, i)| i.outcome == IntentOutcome::InFlight);
+                    open.for_each(|(key, _)| drop(ledger.remove_never_ran(key)));
                 }
                 s.front = Some(Front {
                     ledger,
@@ -241,10 +248,13 @@
                 s.names += 1;
                 let name = format!("n{}", s.names);
                 let front = s.front.as_mut()?;
-                let write =
-                    front
-                        .ledger
-                        .intend(key(), "paid".into(), SERVER, name.clone(), "1".into());
+                let write = front.ledger.begin_attempt(
+                    key(),
+                    "paid".into(),
+                    SERVER,
+                    name.clone(),
+                    "1".into(),
+                );
                 front.own.insert(name.clone());
                 s.unsynced.push(write);
                 if guards.disk_first {
@@ -271,12 +281,20 @@
                 s.sold += 1;
             }
             Action::Answers(name) => {
-                let write = s.front.as_mut()?.ledger.came_out(&name, Came::Plays, 0);
+                let write =
+                    s.front
+                        .as_mut()?
+                        .ledger
+                        .attempt_ended(&name, AttemptResult::Established, 0);
                 s.unsynced.push(write?);
             }
             Action::Close(name) => {
                 s.plays.remove(&name);
-                let write = s.front.as_mut()?.ledger.came_out(&name, Came::Gone, 0);
+                let write = s
+                    .front
+                    .as_mut()?
+                    .ledger
+                    .attempt_ended(&name, AttemptResult::Ended, 0);
                 s.unsynced.extend(write);
             }
             Action::BookLeaves => {
@@ -290,7 +308,7 @@
                 let own = front.own.clone();
                 let (verdicts, steps) = front
                     .settling
-                    .told(SERVER, &book, |name| own.contains(name));
+                    .receive_inventory(SERVER, &book, |name| own.contains(name));
                 s.hear(verdicts, guards);
                 s.take_steps(steps, guards);
             }
@@ -305,7 +323,7 @@
             Action::FencedComes(name) => {
                 let front = s.front.as_mut()?;
                 front.fenced.remove(&name);
-                let step = front.settling.fenced(SERVER, &name);
+                let step = front.settling.fence_confirmed(SERVER, &name);
                 s.take_steps(step.into_iter().collect(), guards);
             }
             Action::PowerGoes(there) => {
--- a/crates/upstream/src/notes.rs
+++ b/crates/server-protocol/src/event_stream.rs
@@ -1,12 +1,12 @@
 //! The stream on which a server tells a front of its sessions.
-use crankpaddle_front::{Note, Outcome};
+use crankpaddle_front::{AttemptOutcome, SessionUpdate};
 use crankpaddle_http::head;
 use crankpaddle_http::sse::{self, Event};
 use serde::{Deserialize, Serialize};
 
 /// The first event of a stream: which life of the server this is and which of the front's sessions it holds.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Hello {
+pub struct StreamStart {
     /// Differs with every start of the server.
     pub boot: String,
     /// The front's sessions that it holds.
@@ -18,7 +18,7 @@
 
 /// A note on a session.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Told {
+pub struct SessionUpdateMessage {
     /// The session.
     pub session: String,
     /// Share of the rate delivered.
@@ -37,7 +37,7 @@
 
 /// A session that is over.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Over {
+pub struct SessionOver {
     /// The session.
     pub session: String,
     /// Whether it ran to its end; else it was lost.
@@ -49,7 +49,7 @@
 
 /// What a server sends to one zone, for sessions of all fronts.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Crossing {
+pub struct CrossZoneRate {
     /// The viewers' zone.
     pub to: String,
     /// Class by name.
@@ -60,26 +60,26 @@
 
 /// What a server counted.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Traffic {
+pub struct TrafficCounts {
     /// The front's sessions, and all media bytes that were sent for each so far.
     #[serde(default)]
     pub sent: Vec<(String, u64)>,
     /// What goes to other zones than the server's own; a zone and class without an entry gets nothing.
     #[serde(default)]
-    pub crossing: Vec<Crossing>,
+    pub crossing: Vec<CrossZoneRate>,
 }
 
 /// What a server said on its stream.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Said {
+pub enum ServerEvent {
     /// The stream's first word.
-    Hello(Hello),
+    Hello(StreamStart),
     /// Notes on a session, in order.
-    Notes(String, Vec<Note>),
+    Notes(String, Vec<SessionUpdate>),
     /// A session is over; with all bytes that were sent for it, where they are counted.
-    Over(String, Outcome, Option<u64>),
+    Over(String, AttemptOutcome, Option<u64>),
     /// What the server counted.
-    Traffic(Traffic),
+    Traffic(TrafficCounts),
 }
 
 /// A request for the stream of one front's sessions.
@@ -98,35 +98,39 @@
 ///
 /// # Errors
 /// Its data is malformed.
-pub fn read(event: &Event) -> Result<Option<Said>, String> {
+pub fn read(event: &Event) -> Result<Option<ServerEvent>, String> {
     let wrong = |e: serde_json::Error| format!("event {:?}: {e}", event.name);
     match event.name.as_str() {
-        "hello" => Ok(Some(Said::Hello(
+        "hello" => Ok(Some(ServerEvent::Hello(
             serde_json::from_str(&event.data).map_err(wrong)?,
         ))),
         "note" => {
-            let told: Told = serde_json::from_str(&event.data).map_err(wrong)?;
+            let told: SessionUpdateMessage = serde_json::from_str(&event.data).map_err(wrong)?;
             let notes = [
-                told.link.map(Note::Link),
-                told.uplink.map(Note::Uplink),
-                told.rung.map(Note::Rung),
-                told.delivered.map(Note::Delivered),
+                told.link.map(SessionUpdate::LinkDemand),
+                told.uplink.map(SessionUpdate::UplinkDemand),
+                told.rung.map(SessionUpdate::Rung),
+                told.delivered.map(SessionUpdate::DeliveryRatio),
             ];
-            Ok(Some(Said::Notes(
+            Ok(Some(ServerEvent::Notes(
                 told.session,
                 notes.into_iter().flatten().collect(),
             )))
         }
         "over" => {
-            let over: Over = serde_json::from_str(&event.data).map_err(wrong)?;
+            let over: SessionOver = serde_json::from_str(&event.data).map_err(wrong)?;
             let outcome = if over.finished {
-                Outcome::Ok
+                AttemptOutcome::Completed
             } else {
-                Outcome::Reset
+                AttemptOutcome::Reset
             };
-            Ok(Some(Said::Over(over.session, outcome, over.sent_bytes)))
+            Ok(Some(ServerEvent::Over(
+                over.session,
+                outcome,
+                over.sent_bytes,
+            )))
         }
-        "traffic" => Ok(Some(Said::Traffic(
+        "traffic" => Ok(Some(ServerEvent::Traffic(
             serde_json::from_str(&event.data).map_err(wrong)?,
         ))),
         _ => Ok(None),
--- a/crates/upstream/src/list.rs
+++ b/crates/server-protocol/src/list.rs
@@ -1,5 +1,5 @@
 //! The list of servers.
-use crankpaddle_front::{Listing, Phase, RosterKind, ServerId, Time};
+use crankpaddle_front::{Endpoint, EndpointListKind, Lifecycle, ServerId, Time};
 use crankpaddle_http::head;
 use crankpaddle_http::sse::{self, Event};
 use serde::{Deserialize, Serialize};
@@ -8,7 +8,7 @@
 /// State of a server on the wire.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum State {
+pub enum EndpointState {
     /// Runs.
     Ready,
     /// Ends its work.
@@ -19,7 +19,7 @@
 
 /// One server.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Entry {
+pub struct EndpointEntry {
     /// Its number, the same at every front and over its restarts.
     pub id: u32,
     /// Zone by name.
@@ -29,7 +29,7 @@
     /// Its cell.
     pub cell: u16,
     /// Its state.
-    pub state: State,
+    pub state: EndpointState,
     /// Its size against other servers.
     pub weight: f64,
     /// Its last start, milliseconds of Unix time; 0: long past.
@@ -41,11 +41,11 @@
 
 /// A list, whole or only what changed.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct List {
+pub struct EndpointListBody {
     /// Its version.
     pub serial: u64,
     /// Its entries.
-    pub servers: Vec<Entry>,
+    pub servers: Vec<EndpointEntry>,
 }
 
 /// A request of a front for all lists from now on: one whole, then changes.
@@ -63,10 +63,10 @@
 ///
 /// # Errors
 /// Its data is malformed.
-pub fn read(event: &Event) -> Result<Option<(RosterKind, List)>, String> {
+pub fn read(event: &Event) -> Result<Option<(EndpointListKind, EndpointListBody)>, String> {
     let kind = match event.name.as_str() {
-        "full" => RosterKind::Full,
-        "delta" => RosterKind::Delta,
+        "full" => EndpointListKind::Full,
+        "delta" => EndpointListKind::Delta,
         _ => return Ok(None),
     };
     let list = serde_json::from_str(&event.data).map_err(|e| format!("list: {e}"))?;
@@ -74,8 +74,8 @@
 }
 
 /// The bytes of an event.
-pub fn write(kind: RosterKind, list: &List) -> Vec<u8> {
-    let name = if kind == RosterKind::Delta {
+pub fn write(kind: EndpointListKind, list: &EndpointListBody) -> Vec<u8> {
+    let name = if kind == EndpointListKind::Delta {
         "delta"
     } else {
         "full"
@@ -89,18 +89,18 @@
 
 /// What a front holds of the list, so that a whole one can be kept on disk and the addresses are known.
 #[derive(Clone, Debug, Default)]
-pub struct Held {
-    list: List,
+pub struct CachedEndpoints {
+    list: EndpointListBody,
 }
 
-impl Held {
-    /// From a file that [`Held::text`] wrote.
+impl CachedEndpoints {
+    /// From a file that [`CachedEndpoints::text`] wrote.
     ///
     /// # Errors
     /// It is malformed.
-    pub fn from_text(text: &str) -> Result<Held, String> {
+    pub fn from_text(text: &str) -> Result<CachedEndpoints, String> {
         serde_json::from_str(text)
-            .map(|list| Held { list })
+            .map(|list| CachedEndpoints { list })
             .map_err(|e| format!("cached list: {e}"))
     }
 
@@ -115,8 +115,8 @@
     }
 
     /// Takes a list in. A change whose version is not newer than what is held says nothing new and is dropped.
-    pub fn take(&mut self, kind: RosterKind, list: &List) -> bool {
-        if kind == RosterKind::Delta {
+    pub fn take(&mut self, kind: EndpointListKind, list: &EndpointListBody) -> bool {
+        if kind == EndpointListKind::Delta {
             if list.serial <= self.list.serial {
                 return false;
             }
@@ -124,7 +124,7 @@
                 self.list.servers.retain(|e| e.id != entry.id);
                 self.list
                     .servers
-                    .extend((entry.state != State::Gone).then(|| entry.clone()));
+                    .extend((entry.state != EndpointState::Gone).then(|| entry.clone()));
             }
             self.list.serial = list.serial;
         } else {
@@ -134,26 +134,26 @@
     }
 
     /// The servers that are held.
-    pub fn servers(&self) -> &[Entry] {
+    pub fn servers(&self) -> &[EndpointEntry] {
         &self.list.servers
     }
 }
 
 /// An entry in the module's terms; `None` where its zone or kind has no number here.
-pub fn listing(entry: &Entry, zones: &[String], kinds: &[String]) -> Option<Listing> {
+pub fn listing(entry: &EndpointEntry, zones: &[String], kinds: &[String]) -> Option<Endpoint> {
     let number = |names: &[String], name: &str| names.iter().position(|n| n == name);
-    Some(Listing {
+    Some(Endpoint {
         server: ServerId(entry.id),
         zone: number(zones, &entry.zone)? as u8,
         kind: number(kinds, &entry.kind)? as u16,
         cell: entry.cell,
-        phase: match entry.state {
-            State::Ready => Phase::Ready,
-            State::Draining => Phase::Draining,
-            State::Gone => Phase::Gone,
+        lifecycle: match entry.state {
+            EndpointState::Ready => Lifecycle::Ready,
+            EndpointState::Draining => Lifecycle::Draining,
+            EndpointState::Gone => Lifecycle::Removed,
         },
         weight: entry.weight,
-        since: Time(entry.started_ms.saturating_mul(1_000_000)),
+        started_at: Time(entry.started_ms.saturating_mul(1_000_000)),
     })
 }
 
@@ -161,9 +161,9 @@
 mod tests {
     use super::*;
 
-    fn entry(id: u32, state: State) -> Entry {
+    fn entry(id: u32, state: EndpointState) -> EndpointEntry {
         let (zone, kind, address) = ("n".into(), "std".into(), "127.0.0.1:1".parse().unwrap());
-        Entry {
+        EndpointEntry {
             id,
             zone,
             kind,
@@ -175,48 +175,63 @@
         }
     }
 
-    fn ids(held: &Held) -> Vec<u32> {
+    fn ids(held: &CachedEndpoints) -> Vec<u32> {
         held.servers().iter().map(|e| e.id).collect()
     }
 
     #[test]
     fn changes_apply_in_order_and_old_ones_are_dropped() {
-        let mut held = Held::default();
-        let list = |serial, servers| List { serial, servers };
+        let mut held = CachedEndpoints::default();
+        let list = |serial, servers| EndpointListBody { serial, servers };
         assert!(held.take(
-            RosterKind::Full,
-            &list(3, vec![entry(1, State::Ready), entry(2, State::Ready)])
+            EndpointListKind::Full,
+            &list(
+                3,
+                vec![
+                    entry(1, EndpointState::Ready),
+                    entry(2, EndpointState::Ready)
+                ]
+            )
         ));
         assert!(held.take(
-            RosterKind::Delta,
-            &list(4, vec![entry(1, State::Gone), entry(3, State::Draining)])
+            EndpointListKind::Delta,
+            &list(
+                4,
+                vec![
+                    entry(1, EndpointState::Gone),
+                    entry(3, EndpointState::Draining)
+                ]
+            )
+        ));
+        assert!(!held.take(
+            EndpointListKind::Delta,
+            &list(4, vec![entry(2, EndpointState::Gone)])
         ));
-        assert!(!held.take(RosterKind::Delta, &list(4, vec![entry(2, State::Gone)])));
         assert_eq!(ids(&held), [2, 3]);
-        let again = Held::from_text(&held.text()).unwrap();
+        let again = CachedEndpoints::from_text(&held.text()).unwrap();
         assert_eq!(again.servers(), held.servers());
-        assert!(Held::from_text("{").is_err());
+        assert!(CachedEndpoints::from_text("{").is_err());
     }
 
     #[test]
     fn what_is_written_is_read_and_unknown_names_are_not_guessed() {
-        let list = List {
+        let list = EndpointListBody {
             serial: 9,
-            servers: vec![entry(4, State::Draining)],
+            servers: vec![entry(4, EndpointState::Draining)],
         };
         let mut events = Vec::new();
         sse::Reader::default()
-            .feed(&write(RosterKind::Delta, &list), &mut events)
+            .feed(&write(EndpointListKind::Delta, &list), &mut events)
             .unwrap();
         assert_eq!(
             read(&events[0]),
-            Ok(Some((RosterKind::Delta, list.clone())))
+            Ok(Some((EndpointListKind::Delta, list.clone())))
         );
         let names = |n: &str| vec![n.to_owned()];
         let known = listing(&list.servers[0], &names("n"), &names("std")).unwrap();
         assert_eq!(
-            (known.phase, known.since),
-            (Phase::Draining, Time(5_000_000))
+            (known.lifecycle, known.started_at),
+            (Lifecycle::Draining, Time(5_000_000))
         );
         assert!(listing(&list.servers[0], &names("m"), &names("std")).is_none());
     }
--- a/crates/upstream/src/book.rs
+++ b/crates/server-protocol/src/session_inventory.rs
@@ -1,11 +1,11 @@
 //! A server's book on one front: which of its sessions it holds, and which paid ones it ran.
 use crankpaddle_http::head;
-use crankpaddle_recovery::{settle, Key};
+use crankpaddle_recovery::{reconciliation, Key};
 use serde::{Deserialize, Serialize};
 
 /// A session that is held.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Held {
+pub struct InventorySession {
     /// Its name.
     pub session: String,
     /// What it is billed under.
@@ -23,7 +23,7 @@
 
 /// A paid session that ran, held or not.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Ran {
+pub struct CompletedSession {
     /// What it was billed under.
     pub bill: String,
     /// Tenant by name; empty where there are none.
@@ -33,26 +33,26 @@
 
 /// The book.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Book {
+pub struct SessionInventory {
     /// Lives of the server that it reaches over without a gap, the present one last.
     pub boots: Vec<String>,
     /// How long the present life lasts, milliseconds. Told as an age, so that no two clocks are compared.
     pub age_ms: u64,
     /// Sessions of the front that it holds.
     #[serde(default)]
-    pub held: Vec<Held>,
+    pub held: Vec<InventorySession>,
     /// Names of the front's set-ups that it works on.
     #[serde(default)]
     pub under_way: Vec<String>,
     /// Paid sessions of the front that ran.
     #[serde(default)]
-    pub ran: Vec<Ran>,
+    pub ran: Vec<CompletedSession>,
 }
 
-impl Book {
+impl SessionInventory {
     /// In the terms of recovery.
-    pub fn told(self) -> settle::Book {
-        let held = |h: Held| settle::Held {
+    pub fn into_recovery(self) -> reconciliation::SessionInventory {
+        let held = |h: InventorySession| reconciliation::InventorySession {
             name: h.session,
             key: Key {
                 tenant: h.tenant,
@@ -62,21 +62,21 @@
             title: h.title,
             rung: h.rung,
         };
-        let ran = |r: Ran| Key {
+        let ran = |r: CompletedSession| Key {
             tenant: r.tenant,
             bill: r.bill,
         };
-        settle::Book {
-            boots: self.boots,
-            held: self.held.into_iter().map(held).collect(),
-            under_way: self.under_way,
-            ran: self.ran.into_iter().map(ran).collect(),
+        reconciliation::SessionInventory {
+            incarnations: self.boots,
+            sessions: self.held.into_iter().map(held).collect(),
+            in_progress: self.under_way,
+            completed: self.ran.into_iter().map(ran).collect(),
         }
     }
 }
 
 /// A request for a server's book on a front.
-pub fn ask(host: &str, front: &str) -> Vec<u8> {
+pub fn request(host: &str, front: &str) -> Vec<u8> {
     head::request(
         "GET",
         &format!("/sessions?front={front}"),
@@ -90,7 +90,7 @@
 ///
 /// # Errors
 /// It is no book.
-pub fn read(body: &[u8]) -> Result<Book, serde_json::Error> {
+pub fn read(body: &[u8]) -> Result<SessionInventory, serde_json::Error> {
     serde_json::from_slice(body)
 }
 
@@ -104,9 +104,9 @@
             br#"{"boots":["3","4"],"age_ms":1500,"ran":[{"bill":"b1","later":1}],"later":{}}"#;
         let book = read(text).unwrap();
         assert_eq!((book.age_ms, book.held.len()), (1500, 0));
-        let told = book.told();
+        let told = book.into_recovery();
         assert_eq!(
-            told.ran,
+            told.completed,
             [Key {
                 tenant: String::new(),
                 bill: "b1".into()
--- a/crates/upstream/src/sessions.rs
+++ b/crates/server-protocol/src/sessions.rs
@@ -1,5 +1,5 @@
 //! Sessions at a server.
-use crankpaddle_front::{Outcome, Report, SetUp};
+use crankpaddle_front::{AttemptOutcome, LoadReport, SetUpResult};
 use crankpaddle_http::head::{self, Response};
 use crankpaddle_http::orca;
 use crankpaddle_http::problem::Problem;
@@ -15,7 +15,7 @@
 
 /// What a set-up asks for.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Order {
+pub struct SetUpBody {
     /// The front that asks; its notes are sent on the stream that it opened under this name.
     pub front: String,
     /// What is paid is billed under this: the same in all attempts for one session, and none can resume it by it.
@@ -36,7 +36,7 @@
 
 /// What a server says when a session is ended that it held.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Ended {
+pub struct TearDownResult {
     /// All media bytes that it sent for it.
     pub sent_bytes: u64,
 }
@@ -65,7 +65,7 @@
 
 /// A change of rung.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Rung {
+pub struct RungBody {
     /// The rung in force from now on.
     pub rung: u8,
 }
@@ -80,14 +80,14 @@
 }
 
 /// A request that sets a session up. The front names it, so it can end one whose answer it never saw.
-pub fn set_up(host: &str, name: &str, order: &Order) -> Vec<u8> {
+pub fn set_up(host: &str, name: &str, order: &SetUpBody) -> Vec<u8> {
     let body = serde_json::to_vec(order).unwrap_or_default();
     head::request("PUT", &target(name), host, &[JSON], &body)
 }
 
 /// A request that sets the rung.
 pub fn set_rung(host: &str, name: &str, rung: u8) -> Vec<u8> {
-    let body = serde_json::to_vec(&Rung { rung }).unwrap_or_default();
+    let body = serde_json::to_vec(&RungBody { rung }).unwrap_or_default();
     head::request("PATCH", &target(name), host, &[JSON], &body)
 }
 
@@ -97,19 +97,19 @@
 }
 
 /// The last word in the answer to a teardown; `None` where the server held no such session, or counts none.
-pub fn tear_down_answer(response: &Response, body: &[u8]) -> Option<Ended> {
+pub fn tear_down_answer(response: &Response, body: &[u8]) -> Option<TearDownResult> {
     serde_json::from_slice(body)
         .ok()
         .filter(|_| response.status == 200)
 }
 
 /// The load report of an answer; what is no report counts as none.
-pub fn report(response: &Response) -> Report {
+pub fn report(response: &Response) -> LoadReport {
     use crankpaddle::LoadField as F;
     let field = |name: &str| match name {
-        "named_metrics.link_asked" => Some(F::LinkAsked),
-        "named_metrics.uplink_asked" => Some(F::UplinkAsked),
-        "named_metrics.link_util" => Some(F::LinkUtil),
+        "named_metrics.link_asked" => Some(F::LinkDemand),
+        "named_metrics.uplink_asked" => Some(F::UplinkDemand),
+        "named_metrics.link_util" => Some(F::LinkUtilization),
         "named_metrics.streams" => Some(F::Streams),
         _ => None,
     };
@@ -125,22 +125,22 @@
 }
 
 /// How a set-up came out, by its whole answer.
-pub fn set_up_answer(response: &Response, body: &[u8]) -> SetUp {
+pub fn set_up_answer(response: &Response, body: &[u8]) -> SetUpResult {
     let report = report(response);
     match response.status {
-        200 | 201 => SetUp::Started(report),
+        200 | 201 => SetUpResult::Started(report),
         503 => {
             let problem: Problem = serde_json::from_slice(body).unwrap_or_default();
-            SetUp::Ended(
+            SetUpResult::Ended(
                 if problem.kind == FULL {
-                    Outcome::Full
+                    AttemptOutcome::Rejected
                 } else {
-                    Outcome::Error
+                    AttemptOutcome::ServerError
                 },
                 report,
             )
         }
-        _ => SetUp::Ended(Outcome::Error, report),
+        _ => SetUpResult::Ended(AttemptOutcome::ServerError, report),
     }
 }
 
@@ -149,7 +149,7 @@
     use super::*;
     use crankpaddle::LoadField;
 
-    fn answer(text: &str) -> SetUp {
+    fn answer(text: &str) -> SetUpResult {
         let (response, at) = Response::parse(text.as_bytes()).unwrap().unwrap();
         set_up_answer(&response, &text.as_bytes()[at..])
     }
@@ -162,7 +162,10 @@
             ..Problem::default()
         };
         let text = String::from_utf8(full.response(&[])).unwrap();
-        assert_eq!(answer(&text), SetUp::Ended(Outcome::Full, vec![]));
+        assert_eq!(
+            answer(&text),
+            SetUpResult::Ended(AttemptOutcome::Rejected, vec![])
+        );
         for text in [
             "HTTP/1.1 503 Service Unavailable\r\n\r\n",
             "HTTP/1.1 503 x\r\n\r\n{\"type\":\"about:blank\"}",
@@ -171,7 +174,11 @@
             "HTTP/1.1 409 x\r\n\r\n",
             "HTTP/1.1 302 x\r\n\r\n",
         ] {
-            assert_eq!(answer(text), SetUp::Ended(Outcome::Error, vec![]), "{text}");
+            assert_eq!(
+                answer(text),
+                SetUpResult::Ended(AttemptOutcome::ServerError, vec![]),
+                "{text}"
+            );
         }
     }
 
@@ -182,10 +189,10 @@
                 "HTTP/1.1 201 Created\r\nEndpoint-Load-Metrics: {value}\r\n\r\n"
             ))
         };
-        let report = vec![(LoadField::LinkAsked, 1.5), (LoadField::UplinkAsked, 0.5)];
+        let report = vec![(LoadField::LinkDemand, 1.5), (LoadField::UplinkDemand, 0.5)];
         let text =
             "TEXT cpu_utilization=1, named_metrics.link_asked=1.5, named_metrics.uplink_asked=0.5";
-        assert_eq!(with(text), SetUp::Started(report));
-        assert_eq!(with("TEXT nonsense"), SetUp::Started(vec![]));
+        assert_eq!(with(text), SetUpResult::Started(report));
+        assert_eq!(with("TEXT nonsense"), SetUpResult::Started(vec![]));
     }
 }
--- a/crates/session-api/src/answers.rs
+++ b/crates/session-api/src/answers.rs
@@ -6,7 +6,9 @@
 };
 use crate::methods::session_name;
 use crate::Version;
-use crankpaddle_front::{Answer, Failure, Notice, OverReason, Refusal, RequestId};
+use crankpaddle_front::{
+    Answer, FailureReason, Notification, RejectReason, RequestId, SessionEndReason,
+};
 use serde::Serialize;
 use serde_json::Value;
 
@@ -20,32 +22,32 @@
 pub const UNKNOWN_SESSION: i64 = -32004;
 
 /// A refusal's reason on the wire. A version that does not know a reason is told the nearest that it knows.
-fn refusal(why: Refusal, version: Version) -> RefusedReason {
+fn refusal(why: RejectReason, version: Version) -> RefusedReason {
     match (why, version) {
-        (Refusal::HeldAtHome, Version::V2) => RefusedReason::HeldAtHome,
-        (Refusal::NoRoom | Refusal::HeldAtHome, _) => RefusedReason::NoRoom,
-        (Refusal::Overload | Refusal::Returning, _) => RefusedReason::Overload,
-        (Refusal::TooManyOpen, _) => RefusedReason::TooManyOpen,
-        (Refusal::Stopping, _) => RefusedReason::Stopping,
+        (RejectReason::CrossZoneForbidden, Version::V2) => RefusedReason::HeldAtHome,
+        (RejectReason::NoCapacity | RejectReason::CrossZoneForbidden, _) => RefusedReason::NoRoom,
+        (RejectReason::Overload | RejectReason::Recovering, _) => RefusedReason::Overload,
+        (RejectReason::TooManyPending, _) => RefusedReason::TooManyOpen,
+        (RejectReason::ShuttingDown, _) => RefusedReason::Stopping,
     }
 }
 
-fn failure(why: Failure) -> FailedReason {
+fn failure(why: FailureReason) -> FailedReason {
     match why {
-        Failure::NoAnswer => FailedReason::NoAnswer,
-        Failure::ServerError => FailedReason::ServerError,
-        Failure::Broken => FailedReason::Broken,
-        Failure::Withdrawn => FailedReason::Withdrawn,
-        Failure::KeySpent => FailedReason::KeySpent,
+        FailureReason::NoAnswer => FailedReason::NoAnswer,
+        FailureReason::ServerError => FailedReason::ServerError,
+        FailureReason::ConnectionLost => FailedReason::Broken,
+        FailureReason::Cancelled => FailedReason::Withdrawn,
+        FailureReason::KeySpent => FailedReason::KeySpent,
     }
 }
 
-fn over(why: OverReason) -> EndReason {
+fn over(why: SessionEndReason) -> EndReason {
     match why {
-        OverReason::Finished => EndReason::Finished,
-        OverReason::ServerLost => EndReason::ServerLost,
-        OverReason::TakenOver => EndReason::TakenOver,
-        OverReason::Stopping => EndReason::Stopping,
+        SessionEndReason::Finished => EndReason::Finished,
+        SessionEndReason::ServerLost => EndReason::ServerLost,
+        SessionEndReason::Superseded => EndReason::TakenOver,
+        SessionEndReason::ShuttingDown => EndReason::Stopping,
     }
 }
 
@@ -61,7 +63,7 @@
 /// The answer to a call; `media` and `hall` are where a session that plays is fetched from.
 pub fn answer(version: Version, id: &Id, answer: &Answer, media: &str, hall: &str) -> Value {
     let (code, message, data) = match answer {
-        Answer::Plays { session, rung, .. } => {
+        Answer::Established { session, rung, .. } => {
             let hall = (version == Version::V2).then(|| hall.to_owned());
             let (session, media) = (session_name(session.0), media.to_owned());
             return jsonrpc::result(
@@ -75,7 +77,7 @@
             );
         }
         Answer::Closed => return jsonrpc::result(id, value(Closed { closed: true })),
-        Answer::Refused(why, stay_away) => {
+        Answer::Rejected(why, stay_away) => {
             let refused = Refused {
                 reason: refusal(*why, version),
                 retry_after_ms: advice(*stay_away),
@@ -90,7 +92,7 @@
             })),
         ),
         Answer::Superseded => (SUPERSEDED, "taken up by another connection", None),
-        Answer::Unknown => (UNKNOWN_SESSION, "no such session", None),
+        Answer::UnknownSession => (UNKNOWN_SESSION, "no such session", None),
     };
     jsonrpc::error(
         id,
@@ -103,13 +105,13 @@
 }
 
 /// What a player is told.
-pub fn notice(session: RequestId, notice: Notice) -> Value {
+pub fn notice(session: RequestId, notice: Notification) -> Value {
     let session = session_name(session.0);
     match notice {
-        Notice::Rung(rung) => {
+        Notification::RungChanged(rung) => {
             jsonrpc::notification("session.rung", value(RungChanged { session, rung }))
         }
-        Notice::Over(why, stay_away) => {
+        Notification::SessionEnded(why, stay_away) => {
             let ended = Ended {
                 session,
                 reason: over(why),
@@ -117,6 +119,6 @@
             };
             jsonrpc::notification("session.end", value(ended))
         }
-        Notice::Move => jsonrpc::notification("session.move", value(Moved { session })),
+        Notification::Migrate => jsonrpc::notification("session.move", value(Moved { session })),
     }
 }
--- a/crates/session-api/src/client.rs
+++ b/crates/session-api/src/client.rs
@@ -6,7 +6,7 @@
 
 /// What a front said.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Said {
+pub enum ClientEvent {
     /// A call's answer: the session plays.
     Plays {
         /// The call.
@@ -110,14 +110,14 @@
 ///
 /// # Errors
 /// It is none that a front sends.
-pub fn read(text: &str) -> Result<Vec<Said>, String> {
+pub fn read(text: &str) -> Result<Vec<ClientEvent>, String> {
     match serde_json::from_str(text).map_err(|e| e.to_string())? {
         Value::Array(members) => members.iter().map(said).collect(),
         value => said(&value).map(|s| vec![s]),
     }
 }
 
-fn said(value: &Value) -> Result<Said, String> {
+fn said(value: &Value) -> Result<ClientEvent, String> {
     let strange = || format!("not a front's message: {value}");
     if value["jsonrpc"] != "2.0" {
         return Err(strange());
@@ -132,20 +132,20 @@
         let params = &value["params"];
         let session = text(&params["session"])?;
         return match method {
-            "session.rung" => Ok(Said::Rung {
+            "session.rung" => Ok(ClientEvent::Rung {
                 session,
                 rung: rung(&params["rung"])?,
             }),
             "session.end" => {
                 let (reason, retry_after_ms) =
                     (text(&params["reason"])?, params["retry_after_ms"].as_u64());
-                Ok(Said::End {
+                Ok(ClientEvent::End {
                     session,
                     reason,
                     retry_after_ms,
                 })
             }
-            "session.move" => Ok(Said::Move { session }),
+            "session.move" => Ok(ClientEvent::Move { session }),
             _ => Err(strange()),
         };
     }
@@ -154,7 +154,7 @@
         let (code, data) = (error["code"].as_i64().ok_or_else(strange)?, &error["data"]);
         let known = id.filter(|_| (UNKNOWN_SESSION..=REFUSED).contains(&code));
         let Some(id) = known else {
-            return Ok(Said::Error {
+            return Ok(ClientEvent::Error {
                 id,
                 code,
                 message: text(&error["message"])?,
@@ -164,26 +164,26 @@
             REFUSED => {
                 let (reason, retry_after_ms) =
                     (text(&data["reason"])?, data["retry_after_ms"].as_u64());
-                Ok(Said::Refused {
+                Ok(ClientEvent::Refused {
                     id,
                     reason,
                     retry_after_ms,
                 })
             }
-            FAILED => Ok(Said::Failed {
+            FAILED => Ok(ClientEvent::Failed {
                 id,
                 reason: text(&data["reason"])?,
             }),
-            SUPERSEDED => Ok(Said::Superseded { id }),
-            _ => Ok(Said::Unknown { id }),
+            SUPERSEDED => Ok(ClientEvent::Superseded { id }),
+            _ => Ok(ClientEvent::Unknown { id }),
         };
     }
     let (id, result) = (id.ok_or_else(strange)?, &value["result"]);
     if result["closed"] == true {
-        return Ok(Said::Closed { id });
+        return Ok(ClientEvent::Closed { id });
     }
     let (session, media) = (text(&result["session"])?, text(&result["media"])?);
-    Ok(Said::Plays {
+    Ok(ClientEvent::Plays {
         id,
         session,
         media,
@@ -199,7 +199,8 @@
     use crate::methods::{session_number, Method};
     use crate::Version;
     use crankpaddle_front::{
-        Answer, AttemptId, Failure, Notice, OverReason, Refusal, RequestId, ServerId,
+        Answer, AttemptId, FailureReason, Notification, RejectReason, RequestId, ServerId,
+        SessionEndReason,
     };
 
     #[test]
@@ -254,7 +255,7 @@
     #[test]
     fn what_a_front_writes_a_player_reads() {
         let id = Id(7.into());
-        let plays = Answer::Plays {
+        let plays = Answer::Established {
             session: RequestId(3),
             attempt: AttemptId(1),
             server: ServerId(2),
@@ -264,7 +265,7 @@
         for (said, want) in [
             (
                 answer(Version::V1, &id, &plays, "http://x/y", "north"),
-                Said::Plays {
+                ClientEvent::Plays {
                     id: 7,
                     session: session.clone(),
                     media,
@@ -275,51 +276,60 @@
                 answer(
                     Version::V1,
                     &id,
-                    &Answer::Refused(Refusal::NoRoom, 1_500_000),
+                    &Answer::Rejected(RejectReason::NoCapacity, 1_500_000),
                     "",
                     "",
                 ),
-                Said::Refused {
+                ClientEvent::Refused {
                     id: 7,
                     reason: "no_room".into(),
                     retry_after_ms: Some(2),
                 },
             ),
             (
-                answer(Version::V1, &id, &Answer::Failed(Failure::Broken), "", ""),
-                Said::Failed {
+                answer(
+                    Version::V1,
+                    &id,
+                    &Answer::Failed(FailureReason::ConnectionLost),
+                    "",
+                    "",
+                ),
+                ClientEvent::Failed {
                     id: 7,
                     reason: "broken".into(),
                 },
             ),
             (
                 answer(Version::V1, &id, &Answer::Superseded, "", ""),
-                Said::Superseded { id: 7 },
+                ClientEvent::Superseded { id: 7 },
             ),
             (
-                answer(Version::V1, &id, &Answer::Unknown, "", ""),
-                Said::Unknown { id: 7 },
+                answer(Version::V1, &id, &Answer::UnknownSession, "", ""),
+                ClientEvent::Unknown { id: 7 },
             ),
             (
                 answer(Version::V1, &id, &Answer::Closed, "", ""),
-                Said::Closed { id: 7 },
+                ClientEvent::Closed { id: 7 },
             ),
             (
-                notice(RequestId(3), Notice::Rung(2)),
-                Said::Rung {
+                notice(RequestId(3), Notification::RungChanged(2)),
+                ClientEvent::Rung {
                     session: session.clone(),
                     rung: 2,
                 },
             ),
             (
-                notice(RequestId(3), Notice::Move),
-                Said::Move {
+                notice(RequestId(3), Notification::Migrate),
+                ClientEvent::Move {
                     session: session.clone(),
                 },
             ),
             (
-                notice(RequestId(3), Notice::Over(OverReason::ServerLost, 0)),
-                Said::End {
+                notice(
+                    RequestId(3),
+                    Notification::SessionEnded(SessionEndReason::ServerLost, 0),
+                ),
+                ClientEvent::End {
                     session,
                     reason: "server_lost".into(),
                     retry_after_ms: None,
@@ -330,7 +340,7 @@
         }
         assert!(read("{}").is_err() && read("x").is_err());
         // What a newer version adds is not said to an older one.
-        let at_home = Answer::Refused(Refusal::HeldAtHome, 0);
+        let at_home = Answer::Rejected(RejectReason::CrossZoneForbidden, 0);
         let reason =
             |version| answer(version, &id, &at_home, "", "")["error"]["data"]["reason"].clone();
         assert_eq!(
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::struct_excessive_bools, clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
-use crankpaddle::{Class, Effect, Group, LoadField, Settings};
+use crankpaddle::{Class, Idempotency, LoadField, RetryScope, Settings};
 use serde::Deserialize;
 
 #[derive(Deserialize)]
@@ -210,27 +210,27 @@
         return Err("cells, cabinets, siblings and services must not be empty".into());
     }
     let classes = f.services.iter().enumerate().map(|(i, s)| Class {
-        aim: s.aim,
-        effect: match (&s.semantics, &s.key_scope) {
-            (Semantics::Free, _) => Effect::Free,
-            (Semantics::SingleShot, _) => Effect::SingleShot,
-            (Semantics::Guarded, Scope::All) => Effect::Guarded(Group::All),
-            (Semantics::Guarded, Scope::Zone) => Effect::Guarded(Group::Zone),
-            (Semantics::Guarded, Scope::Cell) => Effect::Guarded(Group::Cell),
+        latency_objective: s.aim,
+        idempotency: match (&s.semantics, &s.key_scope) {
+            (Semantics::Free, _) => Idempotency::Idempotent,
+            (Semantics::SingleShot, _) => Idempotency::AtMostOnce,
+            (Semantics::Guarded, Scope::All) => Idempotency::IdempotentWithin(RetryScope::All),
+            (Semantics::Guarded, Scope::Zone) => Idempotency::IdempotentWithin(RetryScope::Zone),
+            (Semantics::Guarded, Scope::Cell) => Idempotency::IdempotentWithin(RetryScope::Cell),
         },
-        repeat_within: s.memory_span,
-        worth: s.worth,
-        floor: family.lowest_rung[i],
-        top: family.class_top[i],
+        retry_window: s.memory_span,
+        priority_weight: s.worth,
+        min_rung: family.lowest_rung[i],
+        max_rung: family.class_top[i],
         rate_factor: family.rate_factor[i],
-        seats: family.licence_cap.get(i).copied().unwrap_or(0),
+        max_sessions_per_title: family.licence_cap.get(i).copied().unwrap_or(0),
         live: family.is_live.get(i).copied().unwrap_or(false),
     });
     let field = |name: &str| match name {
         "active" => LoadField::Streams,
-        "cpu" => LoadField::LinkUtil,
-        "x0" => LoadField::LinkAsked,
-        "x1" => LoadField::UplinkAsked,
+        "cpu" => LoadField::LinkUtilization,
+        "x0" => LoadField::LinkDemand,
+        "x1" => LoadField::UplinkDemand,
         _ => LoadField::Other,
     };
     let fields = f.telemetry.fields.into_iter().map(|name| {
@@ -241,46 +241,46 @@
     let deadlines = f.services.iter().map(|s| s.deadline).collect();
     let rationed = f.rules.extra_floor.is_some() || f.rules.extra_share.is_some();
     let settings = Settings {
-        index: f.index,
-        siblings: f.siblings,
+        front_index: f.index,
+        replica_count: f.siblings,
         zone: f.az,
         classes: classes.collect(),
         rung_kb: family.level_kb,
-        rung_worth: family.rung_worth,
+        rung_utility: family.rung_worth,
         cells: family.cells,
         racks: family.cabinets,
-        places: family.places_by_kind,
-        fleet_kb: family.fleet_kb,
+        stream_capacity: family.places_by_kind,
+        fleet_link_kb: family.fleet_kb,
         link_kb: family.kb_per_weight,
         uplink_kb: family.uplink_kb,
-        server_guard: family.guard,
-        join: family.join,
-        note_delay: family.see,
-        note_every: family.told_every,
+        server_rejection_threshold: family.guard,
+        shared_stream_factor: family.join,
+        update_delay: family.see,
+        update_interval: family.told_every,
         shortfall_cost: family.shortfall_cost,
-        switch_seconds: family.switch_s,
+        rung_change_cost_seconds: family.switch_s,
         tenant_quota: f.parties.iter().map(|p| p.quota_per_s).collect(),
-        over_share_worth: f.over_share_worth,
-        must_ask: f.discovery == "ask",
-        ask_within: f.rules.ask_within,
-        attempts_cap: f.limits.attempts_cap,
-        stay_away_cap: if f.limits.retry_after {
+        over_quota_weight: f.over_share_worth,
+        discovery_on_request: f.discovery == "ask",
+        max_discovery_age: f.rules.ask_within,
+        max_attempts: f.limits.attempts_cap,
+        max_retry_after: if f.limits.retry_after {
             f.limits.max_retry_after
         } else {
             0
         },
-        may_probe: f.limits.probing,
-        may_tell: f.limits.may_tell,
-        may_cancel: f.limits.cancel,
-        cold: f.rules.cold,
-        cold_share: f.rules.cold_share,
-        fall_multiple: f.rules.tip_multiple,
-        fall: f.rules.fall,
-        extra_floor: rationed.then(|| f.rules.extra_floor.unwrap_or(0.0)),
-        extra_share: f.rules.extra_share.unwrap_or(0.0),
-        extra_window: f.rules.budget_window,
+        health_checks_allowed: f.limits.probing,
+        gossip_allowed: f.limits.may_tell,
+        cancel_allowed: f.limits.cancel,
+        slow_start_duration: f.rules.cold,
+        slow_start_min_factor: f.rules.cold_share,
+        overload_multiple: f.rules.tip_multiple,
+        overload_window: f.rules.fall,
+        retry_budget_min: rationed.then(|| f.rules.extra_floor.unwrap_or(0.0)),
+        retry_budget_ratio: f.rules.extra_share.unwrap_or(0.0),
+        retry_budget_window: f.rules.budget_window,
         cross_zone_price: f.prices.cross_zone,
-        move_price: f.prices.moves,
+        migration_price: f.prices.moves,
     };
     Ok(Fleet {
         settings,
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -1,5 +1,5 @@
 //! Hosts [`Front`]s on the bench's wire. An adapter only: every decision is the library's.
-use crankpaddle::{Action, Event, Front, Listing, LoadField, RosterKind, Time};
+use crankpaddle::{Action, Endpoint, EndpointListKind, Event, LoadField, PlacementPolicy, Time};
 use crankpaddle_simhost::wire::{self, Batch, Record, Reply};
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, BufWriter};
@@ -7,14 +7,14 @@
 use std::process::ExitCode;
 
 struct Instance {
-    front: Front,
+    front: PlacementPolicy,
     fields: Vec<LoadField>,
 }
 
 #[derive(Default)]
 struct Host {
     instances: BTreeMap<u32, Instance>,
-    lists: BTreeMap<u8, Vec<Listing>>,
+    lists: BTreeMap<u8, Vec<Endpoint>>,
     actions: Vec<Action>,
     reply: Reply,
 }
@@ -28,7 +28,7 @@
                 let fields = fleet.fields.into_iter().map(|(_, field)| field).collect();
                 let settings = fleet.settings;
                 self.actions.clear();
-                match catch_unwind(|| Front::new(settings, seed, now)) {
+                match catch_unwind(|| PlacementPolicy::new(settings, seed, now)) {
                     Ok(front) => drop(self.instances.insert(who, Instance { front, fields })),
                     Err(_) => self.reply.die(who, "panic while starting"),
                 }
@@ -37,14 +37,14 @@
             Record::Directory { list, entries } => drop(self.lists.insert(list, entries)),
             Record::Topology { who, kind, list } => {
                 let entries = match kind {
-                    RosterKind::Failed => Vec::new(),
+                    EndpointListKind::Failed => Vec::new(),
                     _ => self
                         .lists
                         .get(&list)
                         .ok_or(format!("list {list} was never sent"))?
                         .clone(),
                 };
-                self.front(who, now, Event::Roster(kind, entries), &[])?;
+                self.front(who, now, Event::EndpointList(kind, entries), &[])?;
             }
             Record::Front { who, event } => self.front(who, now, event, &[])?,
             Record::Reported { who, event, values } => self.front(who, now, event, &values)?,
