--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -1,8 +1,9 @@
 //! The bench's wire: framed little-endian records. It decodes batches and encodes replies, and decides nothing.
 use crankpaddle::{
-    Action, Ask, Event, Listing, LoadField, Note, Outcome, Phase, Report, RequestId,
+    Action, AttemptOutcome, Endpoint, Event, Lifecycle, LoadField, LoadReport, RequestId,
+    SessionRequest, SessionUpdate,
 };
-use crankpaddle::{RosterKind, ServerId, Time};
+use crankpaddle::{EndpointListKind, ServerId, Time};
 use std::io::{self, Read, Write};
 
 const EVENT_BYTES: usize = 72;
@@ -42,14 +43,14 @@
         /// Its number.
         list: u8,
         /// The servers.
-        entries: Vec<Listing>,
+        entries: Vec<Endpoint>,
     },
     /// An instance is told a list.
     Topology {
         /// The instance.
         who: u32,
         /// How it is to be read.
-        kind: RosterKind,
+        kind: EndpointListKind,
         /// The list's number.
         list: u8,
     },
@@ -176,10 +177,10 @@
         }
         130 => {
             let kind = match r[5] {
-                0 => RosterKind::Cached,
-                1 => RosterKind::Delta,
-                2 => RosterKind::Failed,
-                3 => RosterKind::Full,
+                0 => EndpointListKind::Cached,
+                1 => EndpointListKind::Delta,
+                2 => EndpointListKind::Failed,
+                3 => EndpointListKind::Full,
                 k => return Err(format!("unknown list kind {k}")),
             };
             Ok(Record::Topology {
@@ -190,69 +191,69 @@
         }
         10 => {
             let flags = u16_at(r, 21);
-            front(Event::Ask(Ask {
+            front(Event::SessionRequested(SessionRequest {
                 request,
                 viewer: u64_at(r, 13),
                 deadline: Time(u64_at(r, 23)),
-                copies: whole(r, 31)?,
-                top: whole(r, 35)?.min(255) as u8,
-                hint: (flags & 1 != 0).then(|| u64_at(r, 39)),
+                cell_count: whole(r, 31)?,
+                max_rung: whole(r, 35)?.min(255) as u8,
+                duration_hint: (flags & 1 != 0).then(|| u64_at(r, 39)),
                 tenant: u16_at(r, 47),
                 title: u64_at(r, 49),
                 class: r[57],
                 first_cell: whole(r, 58)?,
-                again: flags & 16 != 0,
-                moved: flags & 8 != 0,
+                is_retry: flags & 16 != 0,
+                is_migration: flags & 8 != 0,
             }))
         }
         110 => {
             let flags = u16_at(r, 55);
-            let ask = Ask {
+            let ask = SessionRequest {
                 request,
                 viewer: u64_at(r, 13),
-                hint: (flags & 1 != 0).then(|| u64_at(r, 21)),
+                duration_hint: (flags & 1 != 0).then(|| u64_at(r, 21)),
                 deadline: Time(u64_at(r, 29)),
-                top: whole(r, 37)?.min(255) as u8,
+                max_rung: whole(r, 37)?.min(255) as u8,
                 title: u64_at(r, 45),
                 tenant: u16_at(r, 53),
                 first_cell: whole(r, 57)?,
-                copies: whole(r, 61)?,
+                cell_count: whole(r, 61)?,
                 class: r[65],
-                again: flags & 16 != 0,
-                moved: flags & 8 != 0,
+                is_retry: flags & 16 != 0,
+                is_migration: flags & 8 != 0,
             };
-            front(Event::Adopted(ask, ServerId(u32_at(r, 41))))
+            front(Event::SessionAdopted(ask, ServerId(u32_at(r, 41))))
         }
-        60 => front(Event::Playing {
+        60 => front(Event::SessionEstablished {
             request,
             attempt: r[13],
             server: ServerId(u32_at(r, 14)),
-            took: u64_at(r, 18),
+            setup_time: u64_at(r, 18),
         }),
         90 => {
             let value = f64::from(f32_at(r, 19));
             let note = match r[18] {
-                1 => Note::Delivered(value),
-                2 => Note::Rung(whole(r, 19)?.min(255) as u8),
-                3 => Note::Link(value),
-                4 => Note::Uplink(value),
+                1 => SessionUpdate::DeliveryRatio(value),
+                2 => SessionUpdate::Rung(whole(r, 19)?.min(255) as u8),
+                3 => SessionUpdate::LinkDemand(value),
+                4 => SessionUpdate::UplinkDemand(value),
                 k => return Err(format!("unknown note kind {k}")),
             };
-            front(Event::Note {
+            front(Event::SessionUpdated {
                 request,
                 server: ServerId(u32_at(r, 14)),
-                note,
+                update: note,
             })
         }
         50 => {
             let (server, outcome) = (ServerId(u32_at(r, 13)), outcome(u16_at(r, 26))?);
-            let (attempt, closed, report) = (r[28], r[25] != 0, Report::new());
-            let event = Event::Ended {
+            let (attempt, closed, report) = (r[28], r[25] != 0, LoadReport::new());
+            let event = Event::AttemptEnded {
                 request,
                 attempt,
                 server,
                 outcome,
-                closed,
+                is_final: closed,
                 report,
             };
             Ok(Record::Reported {
@@ -263,10 +264,10 @@
         }
         120 => {
             let (server, outcome) = (ServerId(u32_at(r, 5)), outcome(u16_at(r, 9))?);
-            let event = Event::Probed {
+            let event = Event::HealthCheckCompleted {
                 server,
                 outcome,
-                report: Report::new(),
+                report: LoadReport::new(),
             };
             Ok(Record::Reported {
                 who,
@@ -274,9 +275,9 @@
                 values: values(r, 19)?,
             })
         }
-        100 => front(Event::Left(request)),
+        100 => front(Event::ClientLeft(request)),
         40 => front(Event::Timer(u32_at(r, 5))),
-        30 => front(Event::Told {
+        30 => front(Event::PeerMessage {
             from: u32_at(r, 5),
             bytes: slice(tail, r, 9, 1)?.to_vec(),
         }),
@@ -286,39 +287,39 @@
 
 /// Puts the fields' names to the values of a report.
 pub fn name_report(event: &mut Event, values: &[f64], fields: &[LoadField]) {
-    if let Event::Ended { report, .. } | Event::Probed { report, .. } = event {
+    if let Event::AttemptEnded { report, .. } | Event::HealthCheckCompleted { report, .. } = event {
         *report = fields.iter().copied().zip(values.iter().copied()).collect();
     }
 }
 
-fn listing(e: &[u8]) -> Result<Listing, String> {
+fn listing(e: &[u8]) -> Result<Endpoint, String> {
     let phase = match e[9] {
-        0 => Phase::Gone,
-        1 => Phase::Ready,
-        2 => Phase::Draining,
+        0 => Lifecycle::Removed,
+        1 => Lifecycle::Ready,
+        2 => Lifecycle::Draining,
         p => return Err(format!("list entry: unknown phase {p}")),
     };
-    Ok(Listing {
+    Ok(Endpoint {
         server: ServerId(u32_at(e, 0)),
         zone: e[4],
         kind: u16_at(e, 5),
         cell: u16_at(e, 7),
-        phase,
+        lifecycle: phase,
         weight: f64::from(f32_at(e, 10)),
-        since: Time(u64_at(e, 14)),
+        started_at: Time(u64_at(e, 14)),
     })
 }
 
-fn outcome(code: u16) -> Result<Outcome, String> {
+fn outcome(code: u16) -> Result<AttemptOutcome, String> {
     Ok(match code {
-        200 => Outcome::Ok,
-        500 => Outcome::Error,
-        503 => Outcome::Full,
-        504 => Outcome::Timeout,
-        502 => Outcome::ConnectFailed,
-        598 => Outcome::Reset,
-        499 => Outcome::Cancelled,
-        410 => Outcome::Moot,
+        200 => AttemptOutcome::Completed,
+        500 => AttemptOutcome::ServerError,
+        503 => AttemptOutcome::Rejected,
+        504 => AttemptOutcome::Timeout,
+        502 => AttemptOutcome::ConnectFailed,
+        598 => AttemptOutcome::Reset,
+        499 => AttemptOutcome::Cancelled,
+        410 => AttemptOutcome::NotSent,
         c => return Err(format!("unknown outcome {c}")),
     })
 }
@@ -405,7 +406,7 @@
     pub fn push(&mut self, who: u32, action: &Action) {
         let id = |r: &RequestId| r.0.to_le_bytes();
         match action {
-            Action::Attempt {
+            Action::StartAttempt {
                 request,
                 server,
                 timeout,
@@ -418,22 +419,25 @@
                     &server.0.to_le_bytes(),
                 ],
             ),
-            Action::Rung { request, rung } => self.record(50, who, &[&id(request), &[*rung]]),
-            Action::Reject { request, stay_away } => {
+            Action::SetRung { request, rung } => self.record(50, who, &[&id(request), &[*rung]]),
+            Action::Reject {
+                request,
+                retry_after: stay_away,
+            } => {
                 self.record(80, who, &[&id(request), &stay_away.to_le_bytes()]);
             }
             Action::Fail(request) => self.record(40, who, &[&id(request)]),
-            Action::Cancel { request, attempt } => {
+            Action::CancelAttempt { request, attempt } => {
                 self.record(60, who, &[&id(request), &[*attempt]]);
             }
-            Action::Move(request) => self.record(70, who, &[&id(request)]),
-            Action::Wake { at, token } => {
+            Action::MigrateSession(request) => self.record(70, who, &[&id(request)]),
+            Action::SetTimer { at, token } => {
                 self.record(130, who, &[&at.0.to_le_bytes(), &token.to_le_bytes()]);
             }
-            Action::Probe(server) => self.record(110, who, &[&server.0.to_le_bytes()]),
-            Action::Subscribe => self.record(140, who, &[&[1]]),
-            Action::FetchRoster => self.record(20, who, &[]),
-            Action::Tell(bytes) => {
+            Action::HealthCheck(server) => self.record(110, who, &[&server.0.to_le_bytes()]),
+            Action::SubscribeEndpoints => self.record(140, who, &[&[1]]),
+            Action::FetchEndpoints => self.record(20, who, &[]),
+            Action::Broadcast(bytes) => {
                 let place = self.text(bytes);
                 self.record(90, who, &[&u32::MAX.to_le_bytes(), &place]);
             }
--- a/crates/store/examples/cost.rs
+++ b/crates/store/examples/cost.rs
@@ -1,6 +1,6 @@
 //! What a store costs: a commit alone, many at once, and reading what is there, beside the least that any store could take: the same
 //! bytes appended to a file and synced. `cargo run --release -p crankpaddle-store --example cost [FOLDER]`
-use crankpaddle_recovery::{Fate, Intent, Key, Write};
+use crankpaddle_recovery::{Intent, IntentOutcome, Key, StoreWrite};
 use crankpaddle_store::Store;
 use std::fs::{self, File};
 use std::io::Write as _;
@@ -9,7 +9,7 @@
 
 const ALONE: usize = 400;
 
-fn keep(n: u64) -> Write {
+fn keep(n: u64) -> StoreWrite {
     let key = Key {
         tenant: format!("t{}", n % 5),
         bill: format!("{n:032x}"),
@@ -18,12 +18,12 @@
     let intent = Intent {
         class: "licensed-view".into(),
         server: n as u32 % 150,
-        name,
-        boot: "17".into(),
-        fate: Fate::Out,
-        until: u64::MAX,
+        attempt_name: name,
+        server_incarnation: "17".into(),
+        outcome: IntentOutcome::InFlight,
+        retained_until: u64::MAX,
     };
-    Write::Keep(key, intent)
+    StoreWrite::Put(key, intent)
 }
 
 fn told(what: &str, mut times: Vec<Duration>, each: usize) {
@@ -59,7 +59,7 @@
         let (mut times, mut floor) = (Vec::new(), Vec::new());
         let mut plain = File::create(dir.join("plain"))?;
         for round in 0..ALONE as u64 {
-            let writes: Vec<Write> = (0..group).map(|n| keep(round * group + n)).collect();
+            let writes: Vec<StoreWrite> = (0..group).map(|n| keep(round * group + n)).collect();
             let begun = Instant::now();
             store.write(&writes)?;
             times.push(begun.elapsed());
@@ -102,9 +102,9 @@
             took.as_secs_f64() * 1e3,
             took.as_secs_f64() * 1e6 / entries as f64,
             size(&folder) as f64 / 1e6,
-            taken.past.ended
+            taken.recovered.shutdown
         );
-        assert_eq!(taken.past.intents.0.len(), entries as usize);
+        assert_eq!(taken.recovered.intents.0.len(), entries as usize);
     }
     fs::remove_dir_all(&dir)?;
     Ok(())
--- a/crates/store/src/opening.rs
+++ b/crates/store/src/open.rs
@@ -5,7 +5,9 @@
 //! - The disk fails: the past is unknown, and nothing can be kept; the front starts and sets up nothing that is paid.
 use crate::errors::Error;
 use crate::tables::{self, Kept, VERSION};
-use crankpaddle_recovery::{Careful, Ended, Holds, Past, Write};
+use crankpaddle_recovery::{
+    ConservativeBound, PreviousShutdown, RecoveredState, StillValid, StoreWrite,
+};
 use redb::{Builder, Database, DatabaseError, StorageBackend};
 use std::fmt;
 use std::fs::{self, File};
@@ -37,13 +39,13 @@
 
 /// What came of taking a folder.
 #[derive(Debug)]
-pub struct Taken {
+pub struct OpenedStore {
     /// The store.
     pub store: Store,
     /// What former lives left.
-    pub past: Past,
+    pub recovered: RecoveredState,
     /// A file that was no store any more, set aside under this name.
-    pub set_aside: Option<(PathBuf, Error)>,
+    pub quarantined: Option<(PathBuf, Error)>,
 }
 
 /// What an error of the database comes from.
@@ -103,19 +105,19 @@
     })
 }
 
-fn past(kept: Kept, boot: &str) -> Past {
+fn past(kept: Kept, boot: &str) -> RecoveredState {
     let ended = match kept.epoch {
-        0 => Ended::Unknown,
-        _ if kept.in_order => Ended::InOrder,
-        _ if kept.boot != boot => Ended::PowerLost,
-        _ => Ended::Killed,
+        0 => PreviousShutdown::Unknown,
+        _ if kept.in_order => PreviousShutdown::Clean,
+        _ if kept.boot != boot => PreviousShutdown::PowerLost,
+        _ => PreviousShutdown::Killed,
     };
-    Past {
-        epoch: Holds(kept.epoch + 1),
-        intents: Holds(kept.intents),
-        fleet: Careful::new(kept.fleet),
-        ended,
-        ran: Holds(kept.ran),
+    RecoveredState {
+        epoch: StillValid(kept.epoch + 1),
+        intents: StillValid(kept.intents),
+        fleet_size: ConservativeBound::new(kept.fleet),
+        shutdown: ended,
+        uptime_ms: StillValid(kept.ran),
     }
 }
 
@@ -124,7 +126,7 @@
     ///
     /// # Errors
     /// It is another's, a later release's, or the disk fails; a torn file is no error.
-    pub fn open(dir: &Path, boot: &str) -> Result<Taken, Error> {
+    pub fn open(dir: &Path, boot: &str) -> Result<OpenedStore, Error> {
         let disk = |source: io::Error| Error::Disk {
             dir: dir.to_owned(),
             source,
@@ -171,10 +173,10 @@
             again,
         };
         let past = store.begin(kept, boot)?;
-        Ok(Taken {
+        Ok(OpenedStore {
             store,
-            past,
-            set_aside,
+            recovered: past,
+            quarantined: set_aside,
         })
     }
 
@@ -182,7 +184,10 @@
     ///
     /// # Errors
     /// The disk fails, or what is on it is no store.
-    pub fn on<B: StorageBackend + Clone>(backend: B, boot: &str) -> Result<Taken, Error> {
+    pub fn open_backend<B: StorageBackend + Clone>(
+        backend: B,
+        boot: &str,
+    ) -> Result<OpenedStore, Error> {
         let dir = PathBuf::from("(a disk of its own)");
         let again: Opener = Box::new(move |builder| builder.create_with_backend(backend.clone()));
         let (db, kept) = load(&dir, &again)?;
@@ -192,14 +197,14 @@
             again,
         };
         let past = store.begin(kept, boot)?;
-        Ok(Taken {
+        Ok(OpenedStore {
             store,
-            past,
-            set_aside: None,
+            recovered: past,
+            quarantined: None,
         })
     }
 
-    fn begin(&self, kept: Kept, boot: &str) -> Result<Past, Error> {
+    fn begin(&self, kept: Kept, boot: &str) -> Result<RecoveredState, Error> {
         if kept.spoilt > 0 {
             tracing::warn!(dir = %self.dir.display(), entries = kept.spoilt, "entries of the store could not be read");
         }
@@ -214,7 +219,7 @@
     ///
     /// # Errors
     /// The disk fails; none of it may be relied on.
-    pub fn write(&mut self, writes: &[Write]) -> Result<(), Error> {
+    pub fn write(&mut self, writes: &[StoreWrite]) -> Result<(), Error> {
         if self.db.is_none() {
             // What is read is what this life wrote before the fault; it is known.
             self.db = Some(load(&self.dir, &self.again)?.0);
--- a/crates/store/src/tables.rs
+++ b/crates/store/src/tables.rs
@@ -1,5 +1,5 @@
 //! How entries lie in the database.
-use crankpaddle_recovery::{Intent, Key, Write};
+use crankpaddle_recovery::{Intent, Key, StoreWrite};
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition, TableError};
 use std::collections::BTreeMap;
 
@@ -84,23 +84,23 @@
 }
 
 /// Writes in one go, all or nothing; once it returns it outlives a power loss.
-pub(crate) fn write(db: &Database, writes: &[Write]) -> Result<(), redb::Error> {
+pub(crate) fn write(db: &Database, writes: &[StoreWrite]) -> Result<(), redb::Error> {
     let writing = db.begin_write()?;
     {
         let mut intents = writing.open_table(INTENTS)?;
         let mut numbers = writing.open_table(NUMBERS)?;
         for write in writes {
             match write {
-                Write::Keep(key, intent) => {
+                StoreWrite::Put(key, intent) => {
                     let bytes = postcard::to_allocvec(intent).unwrap_or_default(); // It has no form that fails.
                     intents.insert((key.tenant.as_str(), key.bill.as_str()), bytes.as_slice())?;
                 }
-                Write::Forget(key) => {
+                StoreWrite::Remove(key) => {
                     drop(intents.remove((key.tenant.as_str(), key.bill.as_str()))?);
                 }
-                Write::Fleet(fronts) => drop(numbers.insert(FLEET, u64::from(*fronts))?),
-                Write::Ran(ran) => drop(numbers.insert(RAN, ran)?),
-                Write::InOrder => drop(numbers.insert(IN_ORDER, 1)?),
+                StoreWrite::FleetSize(fronts) => drop(numbers.insert(FLEET, u64::from(*fronts))?),
+                StoreWrite::Uptime(ran) => drop(numbers.insert(RAN, ran)?),
+                StoreWrite::CleanShutdown => drop(numbers.insert(IN_ORDER, 1)?),
             }
         }
     }
--- a/crates/store/src/writer.rs
+++ b/crates/store/src/writer.rs
@@ -3,8 +3,8 @@
 //! Danger: a coroutine that waits for a disk stops all others of its thread. So orders go through a queue, and who waits for one is
 //! told when it is on disk. What came while the disk was busy goes together.
 use crate::errors::Error;
-use crate::opening::Store;
-use crankpaddle_recovery::Write;
+use crate::open::Store;
+use crankpaddle_recovery::StoreWrite;
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -18,30 +18,33 @@
 
 /// What is to be written.
 #[derive(Debug)]
-pub struct Order {
+pub struct WriteRequest {
     /// In this order, all or nothing.
-    pub writes: Vec<Write>,
+    pub writes: Vec<StoreWrite>,
     /// Who waits until it is on disk.
     pub token: Option<u64>,
 }
 
 /// The way to the thread that writes.
 #[derive(Debug)]
-pub struct Writer {
-    orders: Sender<Order>,
+pub struct StoreWriter {
+    orders: Sender<WriteRequest>,
     thread: JoinHandle<()>,
 }
 
-impl Writer {
+impl StoreWriter {
     /// Starts it. `done` is told who waits no more, and whether what they waited for is on disk.
-    pub fn start(store: Store, done: impl Fn(u64, Result<(), &Error>) + Send + 'static) -> Writer {
+    pub fn start(
+        store: Store,
+        done: impl Fn(u64, Result<(), &Error>) + Send + 'static,
+    ) -> StoreWriter {
         let (orders, inbox) = mpsc::channel();
         let thread = std::thread::spawn(move || run(store, &inbox, done));
-        Writer { orders, thread }
+        StoreWriter { orders, thread }
     }
 
     /// Writes. False: the thread has died, and nobody will be told.
-    pub fn order(&self, order: Order) -> bool {
+    pub fn submit(&self, order: WriteRequest) -> bool {
         order.writes.is_empty() && order.token.is_none() || self.orders.send(order).is_ok()
     }
 
@@ -52,7 +55,7 @@
 }
 
 /// Takes what lies there, and waits for company while nobody waits for it.
-fn gather(first: Order, inbox: &Receiver<Order>) -> Vec<Order> {
+fn gather(first: WriteRequest, inbox: &Receiver<WriteRequest>) -> Vec<WriteRequest> {
     let mut orders = vec![first];
     let until = Instant::now() + GATHER;
     while orders.len() < MOST {
@@ -68,14 +71,14 @@
     orders
 }
 
-fn run(mut store: Store, inbox: &Receiver<Order>, done: impl Fn(u64, Result<(), &Error>)) {
+fn run(mut store: Store, inbox: &Receiver<WriteRequest>, done: impl Fn(u64, Result<(), &Error>)) {
     let mut fault: Option<(Instant, Error)> = None;
     while let Ok(first) = inbox.recv() {
         let orders = gather(first, inbox);
         let result = match fault.take() {
             Some((at, e)) if at.elapsed() < AFTER_FAULT => Err((at, e)),
             before => {
-                let writes: Vec<Write> = orders
+                let writes: Vec<StoreWrite> = orders
                     .iter()
                     .flat_map(|o| o.writes.iter().cloned())
                     .collect();
--- a/crates/store/tests/common/mod.rs
+++ b/crates/store/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! Disks that are watched, slowed down, or fail; and what a store must hold after a run.
 #![allow(dead_code)]
-use crankpaddle_recovery::{Fate, Intent, Key, Past, Write};
+use crankpaddle_recovery::{Intent, IntentOutcome, Key, RecoveredState, StoreWrite};
 use redb::StorageBackend;
 use std::collections::BTreeMap;
 use std::io::{Error, ErrorKind};
@@ -17,30 +17,30 @@
     }
 }
 
-pub(crate) fn intent(n: u64, fate: Fate) -> Intent {
+pub(crate) fn intent(n: u64, fate: IntentOutcome) -> Intent {
     Intent {
         class: "licensed-view".into(),
         server: n as u32 % 12,
-        name: format!("{n:016x}-{n:x}"),
-        boot: "1".into(),
-        fate,
-        until: n,
+        attempt_name: format!("{n:016x}-{n:x}"),
+        server_incarnation: "1".into(),
+        outcome: fate,
+        retained_until: n,
     }
 }
 
 /// What a store holds, as operators would count it.
 pub(crate) type Held = BTreeMap<Key, Intent>;
 
-pub(crate) fn held(past: &Past) -> Held {
+pub(crate) fn held(past: &RecoveredState) -> Held {
     past.intents.0.iter().cloned().collect()
 }
 
-pub(crate) fn apply(held: &mut Held, writes: &[Write]) {
+pub(crate) fn apply(held: &mut Held, writes: &[StoreWrite]) {
     for write in writes {
         match write {
-            Write::Keep(key, intent) => drop(held.insert(key.clone(), intent.clone())),
-            Write::Forget(key) => drop(held.remove(key)),
-            Write::Fleet(_) | Write::Ran(_) | Write::InOrder => {}
+            StoreWrite::Put(key, intent) => drop(held.insert(key.clone(), intent.clone())),
+            StoreWrite::Remove(key) => drop(held.remove(key)),
+            StoreWrite::FleetSize(_) | StoreWrite::Uptime(_) | StoreWrite::CleanShutdown => {}
         }
     }
 }
--- a/crates/store/tests/disk.rs
+++ b/crates/store/tests/disk.rs
@@ -6,7 +6,7 @@
 #![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 mod common;
 use common::{apply, held, intent, key, lock, put, Held, Seen, Watched};
-use crankpaddle_recovery::{Fate, Write};
+use crankpaddle_recovery::{IntentOutcome, StoreWrite};
 use crankpaddle_store::Store;
 
 /// A disk takes so many bytes at once or not at all.
@@ -25,17 +25,20 @@
 fn record(commits: u64) -> Run {
     let disk = Watched::default();
     let at = |disk: &Watched| lock(&disk.seen).len();
-    let taken = Store::on(disk.clone(), "boot").unwrap();
+    let taken = Store::open_backend(disk.clone(), "boot").unwrap();
     let (mut store, mut now) = (taken.store, Held::new());
     let mut told = vec![(at(&disk), now.clone())];
     for n in 0..commits {
         // As a front does: an intent, what became of the one before, and sometimes one forgotten.
-        let mut writes = vec![Write::Keep(key(n), intent(n, Fate::Out))];
+        let mut writes = vec![StoreWrite::Put(key(n), intent(n, IntentOutcome::InFlight))];
         if n > 0 {
-            writes.push(Write::Keep(key(n - 1), intent(n - 1, Fate::Plays)));
+            writes.push(StoreWrite::Put(
+                key(n - 1),
+                intent(n - 1, IntentOutcome::Established),
+            ));
         }
         if n % 3 == 2 {
-            writes.push(Write::Forget(key(n - 2)));
+            writes.push(StoreWrite::Remove(key(n - 2)));
         }
         store.write(&writes).unwrap();
         apply(&mut now, &writes);
@@ -121,8 +124,8 @@
                 .filter(|(_, there)| **there)
                 .for_each(|(unit, _)| lay(&mut bytes, unit));
             states += 1;
-            let found = match Store::on(Watched::of(bytes), "other boot") {
-                Ok(taken) => Some(held(&taken.past)),
+            let found = match Store::open_backend(Watched::of(bytes), "other boot") {
+                Ok(taken) => Some(held(&taken.recovered)),
                 // Before the first commit there is no store, and what is there is set aside.
                 Err(_) if sure.is_none() => continue,
                 Err(e) => {
--- a/crates/store/tests/folder.rs
+++ b/crates/store/tests/folder.rs
@@ -1,9 +1,9 @@
 //! Folders: whose fault it is when one can't be taken, and what is begun instead.
 mod common;
 use common::{held, intent, key};
-use crankpaddle_lab::disk::Poor;
-use crankpaddle_recovery::{Ended, Fate, Write};
-use crankpaddle_store::{Error, Order, Store, Writer};
+use crankpaddle_recovery::{IntentOutcome, PreviousShutdown, StoreWrite};
+use crankpaddle_store::{Error, Store, StoreWriter, WriteRequest};
+use crankpaddle_testbed::disk::Poor;
 use std::fs;
 use std::path::Path;
 use std::sync::atomic::Ordering;
@@ -12,8 +12,8 @@
 
 const LONG: Duration = Duration::from_secs(20);
 
-fn keep(n: u64, fate: Fate) -> Write {
-    Write::Keep(key(n), intent(n, fate))
+fn keep(n: u64, fate: IntentOutcome) -> StoreWrite {
+    StoreWrite::Put(key(n), intent(n, fate))
 }
 
 fn files(dir: &Path) -> Vec<(String, Vec<u8>)> {
@@ -35,34 +35,44 @@
     let dir = tempfile::tempdir().unwrap();
     let open = |boot: &str| Store::open(dir.path(), boot).unwrap();
     let first = open("a");
-    assert_eq!((first.past.ended, first.past.epoch.0), (Ended::Unknown, 1));
+    assert_eq!(
+        (first.recovered.shutdown, first.recovered.epoch.0),
+        (PreviousShutdown::Unknown, 1)
+    );
     drop(first);
-    assert_eq!(open("a").past.ended, Ended::Killed);
+    assert_eq!(open("a").recovered.shutdown, PreviousShutdown::Killed);
     let mut third = open("b");
     assert_eq!(
-        (third.past.ended, third.past.epoch.0),
-        (Ended::PowerLost, 3)
+        (third.recovered.shutdown, third.recovered.epoch.0),
+        (PreviousShutdown::PowerLost, 3)
     );
     third
         .store
         .write(&[
-            keep(1, Fate::Out),
-            Write::Fleet(40),
-            Write::Ran(77),
-            Write::InOrder,
+            keep(1, IntentOutcome::InFlight),
+            StoreWrite::FleetSize(40),
+            StoreWrite::Uptime(77),
+            StoreWrite::CleanShutdown,
         ])
         .unwrap();
     drop(third);
     // Whatever the boot: nothing was left open.
-    let fourth = open("c").past;
+    let fourth = open("c").recovered;
+    assert_eq!(
+        (
+            fourth.shutdown,
+            fourth.fleet_size.at_least(11),
+            fourth.uptime_ms.0
+        ),
+        (PreviousShutdown::Clean, 40, 77)
+    );
     assert_eq!(
-        (fourth.ended, fourth.fleet.at_least(11), fourth.ran.0),
-        (Ended::InOrder, 40, 77)
+        held(&fourth),
+        [(key(1), intent(1, IntentOutcome::InFlight))].into()
     );
-    assert_eq!(held(&fourth), [(key(1), intent(1, Fate::Out))].into());
     assert_eq!(
-        open("c").past.ended,
-        Ended::Killed,
+        open("c").recovered.shutdown,
+        PreviousShutdown::Killed,
         "in order holds for one life"
     );
 }
@@ -85,7 +95,7 @@
     Store::open(dir.path(), "a")
         .unwrap()
         .store
-        .write(&[keep(1, Fate::Out)])
+        .write(&[keep(1, IntentOutcome::InFlight)])
         .unwrap();
     fs::write(dir.path().join("VERSION"), "2\n").unwrap();
     let before = files(dir.path());
@@ -103,7 +113,7 @@
 #[test]
 fn a_file_torn_at_any_byte_is_set_aside_or_read_whole_and_never_stops_a_start() {
     let dir = tempfile::tempdir().unwrap();
-    let writes: Vec<Write> = (0..20).map(|n| keep(n, Fate::Out)).collect();
+    let writes: Vec<StoreWrite> = (0..20).map(|n| keep(n, IntentOutcome::InFlight)).collect();
     Store::open(dir.path(), "a")
         .unwrap()
         .store
@@ -127,7 +137,7 @@
     for bytes in torn {
         fs::write(&file, &bytes).unwrap();
         let taken = Store::open(dir.path(), "a").unwrap();
-        if let Some((path, why)) = taken.set_aside {
+        if let Some((path, why)) = taken.quarantined {
             assert!(matches!(why, Error::Torn { .. }), "{why}");
             assert_eq!(
                 fs::read(&path).unwrap(),
@@ -135,14 +145,14 @@
                 "what was set aside is as it was found"
             );
             assert_eq!(
-                (taken.past.ended, held(&taken.past).len()),
-                (Ended::Unknown, 0)
+                (taken.recovered.shutdown, held(&taken.recovered).len()),
+                (PreviousShutdown::Unknown, 0)
             );
             fs::remove_file(path).unwrap();
             aside += 1;
         } else if !bytes.is_empty() {
             // Read, and not less than all of it; or what it was before anything was written.
-            assert!([0, 20].contains(&held(&taken.past).len()));
+            assert!([0, 20].contains(&held(&taken.recovered).len()));
             read += 1;
         }
     }
@@ -156,7 +166,7 @@
     for torn in ["", "1", "\u{0}\u{0}\n", "99"] {
         fs::write(dir.path().join("VERSION"), torn).unwrap();
         let taken = Store::open(dir.path(), "a").unwrap();
-        assert!(taken.set_aside.is_some(), "{torn:?}");
+        assert!(taken.quarantined.is_some(), "{torn:?}");
     }
 }
 
@@ -173,11 +183,11 @@
     writer.recv_timeout(LONG).unwrap()
 }
 
-fn writer(disk: &Poor) -> (Writer, mpsc::Receiver<(u64, bool)>) {
-    let store = Store::on(disk.clone(), "a").unwrap().store;
+fn writer(disk: &Poor) -> (StoreWriter, mpsc::Receiver<(u64, bool)>) {
+    let store = Store::open_backend(disk.clone(), "a").unwrap().store;
     let (done, heard) = mpsc::channel();
     (
-        Writer::start(store, move |token, result| {
+        StoreWriter::start(store, move |token, result| {
             done.send((token, result.is_ok())).unwrap();
         }),
         heard,
@@ -191,8 +201,8 @@
     disk.slow.store(100, Ordering::Release);
     let before = disk.syncs.load(Ordering::Acquire);
     for n in 0..200 {
-        writer.order(Order {
-            writes: vec![keep(n, Fate::Out)],
+        writer.submit(WriteRequest {
+            writes: vec![keep(n, IntentOutcome::InFlight)],
             token: Some(n),
         });
     }
@@ -212,15 +222,15 @@
 fn who_waits_for_a_full_disk_is_told_so_and_nobody_waits_for_ever() {
     let disk = Poor::new();
     let (writer, heard) = writer(&disk);
-    writer.order(Order {
-        writes: vec![keep(1, Fate::Out)],
+    writer.submit(WriteRequest {
+        writes: vec![keep(1, IntentOutcome::InFlight)],
         token: Some(1),
     });
     assert_eq!(told(&heard), (1, true));
     disk.full.store(true, Ordering::Release);
     for n in 2..30 {
-        writer.order(Order {
-            writes: vec![keep(n, Fate::Out)],
+        writer.submit(WriteRequest {
+            writes: vec![keep(n, IntentOutcome::InFlight)],
             token: Some(n),
         });
         assert_eq!(told(&heard), (n, false));
@@ -231,19 +241,19 @@
 #[test]
 fn a_disk_that_has_room_again_is_written_again_and_holds_what_was_told() {
     let disk = Poor::new();
-    let mut store = Store::on(disk.clone(), "a").unwrap().store;
-    store.write(&[keep(1, Fate::Out)]).unwrap();
+    let mut store = Store::open_backend(disk.clone(), "a").unwrap().store;
+    store.write(&[keep(1, IntentOutcome::InFlight)]).unwrap();
     disk.full.store(true, Ordering::Release);
     for _ in 0..3 {
         assert!(matches!(
-            store.write(&[keep(2, Fate::Out)]),
+            store.write(&[keep(2, IntentOutcome::InFlight)]),
             Err(Error::Disk { .. })
         ));
     }
     disk.full.store(false, Ordering::Release);
-    store.write(&[keep(3, Fate::Out)]).unwrap();
+    store.write(&[keep(3, IntentOutcome::InFlight)]).unwrap();
     drop(store);
-    let after = held(&Store::on(disk, "a").unwrap().past);
+    let after = held(&Store::open_backend(disk, "a").unwrap().recovered);
     assert!(
         after.contains_key(&key(1)) && after.contains_key(&key(3)),
         "{after:?}"
--- a/crates/store/tests/record_bytes.rs
+++ b/crates/store/tests/record_bytes.rs
@@ -1,8 +1,9 @@
 //! Record bytes: the exact tables, keys and values that a store writes, read from its file without the store's own code. Names in the
 //! code may change; the literals here may not.
+#![allow(clippy::too_many_lines)] // One table of records.
 mod common;
 use common::{intent, key};
-use crankpaddle_recovery::{Fate, Write};
+use crankpaddle_recovery::{IntentOutcome, StoreWrite};
 use crankpaddle_store::Store;
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition, TableHandle};
 use std::fmt::Write as _;
@@ -47,7 +48,7 @@
 }
 
 /// The records after a life that wrote this.
-fn written(writes: &[Write]) -> Vec<String> {
+fn written(writes: &[StoreWrite]) -> Vec<String> {
     let dir = tempfile::tempdir().expect("a folder");
     let mut taken = Store::open(dir.path(), "boot-1").expect("opened");
     taken.store.write(writes).expect("written");
@@ -63,51 +64,55 @@
         "numbers epoch 1",
         "words boot \"boot-1\"",
     ];
-    let keep = |n, fate| Write::Keep(key(n), intent(n, fate));
-    let table: [(&str, Vec<Write>, &[&str]); 9] = [
+    let keep = |n, fate| StoreWrite::Put(key(n), intent(n, fate));
+    let table: [(&str, Vec<StoreWrite>, &[&str]); 9] = [
         ("nothing", vec![], &[]),
         (
             "attempt out",
-            vec![keep(0, Fate::Out)],
+            vec![keep(0, IntentOutcome::InFlight)],
             &[
                 r#"intents ("t0", "00000000000000000000000000000000") 0d6c6963656e7365642d766965770012303030303030303030303030303030302d3001310000"#,
             ],
         ),
         (
             "playing",
-            vec![keep(1, Fate::Plays)],
+            vec![keep(1, IntentOutcome::Established)],
             &[
                 r#"intents ("t1", "00000000000000000000000000000001") 0d6c6963656e7365642d766965770112303030303030303030303030303030312d3101310101"#,
             ],
         ),
         (
             "over",
-            vec![keep(300, Fate::Spent)],
+            vec![keep(300, IntentOutcome::Completed)],
             &[
                 r#"intents ("t0", "0000000000000000000000000000012c") 0d6c6963656e7365642d766965770014303030303030303030303030303132632d313263013102ac02"#,
             ],
         ),
         (
             "failed",
-            vec![keep(70_000, Fate::Failed)],
+            vec![keep(70_000, IntentOutcome::Failed)],
             &[
                 r#"intents ("t1", "00000000000000000000000000011170") 0d6c6963656e7365642d766965770416303030303030303030303031313137302d3131313730013103f0a204"#,
             ],
         ),
         (
             "forgotten",
-            vec![keep(1, Fate::Out), Write::Forget(key(1))],
+            vec![keep(1, IntentOutcome::InFlight), StoreWrite::Remove(key(1))],
             &[],
         ),
-        ("fleet", vec![Write::Fleet(40)], &["numbers fleet 40"]),
+        (
+            "fleet",
+            vec![StoreWrite::FleetSize(40)],
+            &["numbers fleet 40"],
+        ),
         (
             "ran",
-            vec![Write::Ran(u64::MAX)],
+            vec![StoreWrite::Uptime(u64::MAX)],
             &["numbers ran 18446744073709551615"],
         ),
         (
             "in order",
-            vec![Write::InOrder],
+            vec![StoreWrite::CleanShutdown],
             &["numbers ended-in-order 1"],
         ),
     ];
--- a/crates/store/tests/samples.rs
+++ b/crates/store/tests/samples.rs
@@ -2,21 +2,26 @@
 //! new version is added beside it (`CRANKPADDLE_WRITE_SAMPLE=1 cargo test -p crankpaddle-store --test samples`).
 mod common;
 use common::{held, intent, key, Held};
-use crankpaddle_recovery::{Ended, Fate, Write};
+use crankpaddle_recovery::{IntentOutcome, PreviousShutdown, StoreWrite};
 use crankpaddle_store::Store;
 use std::fs;
 use std::path::{Path, PathBuf};
 
-const FATES: [Fate; 4] = [Fate::Out, Fate::Plays, Fate::Spent, Fate::Failed];
+const FATES: [IntentOutcome; 4] = [
+    IntentOutcome::InFlight,
+    IntentOutcome::Established,
+    IntentOutcome::Completed,
+    IntentOutcome::Failed,
+];
 
 fn sample(version: u32) -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("tests/samples/v{version}"))
 }
 
-fn writes() -> Vec<Write> {
-    let entries = (0..12).map(|n| Write::Keep(key(n), intent(n, FATES[n as usize % 4])));
+fn writes() -> Vec<StoreWrite> {
+    let entries = (0..12).map(|n| StoreWrite::Put(key(n), intent(n, FATES[n as usize % 4])));
     entries
-        .chain([Write::Fleet(40), Write::Ran(123_456)])
+        .chain([StoreWrite::FleetSize(40), StoreWrite::Uptime(123_456)])
         .collect()
 }
 
@@ -35,14 +40,14 @@
         fs::copy(kept.join(name), dir.path().join(name)).unwrap();
     }
     let taken = Store::open(dir.path(), "another boot").unwrap();
-    assert!(taken.set_aside.is_none());
+    assert!(taken.quarantined.is_none());
     let mut expected = Held::new();
     common::apply(&mut expected, &writes());
-    assert_eq!(held(&taken.past), expected);
-    let past = taken.past;
+    assert_eq!(held(&taken.recovered), expected);
+    let past = taken.recovered;
     assert_eq!(
-        (past.epoch.0, past.ended, past.ran.0),
-        (2, Ended::PowerLost, 123_456)
+        (past.epoch.0, past.shutdown, past.uptime_ms.0),
+        (2, PreviousShutdown::PowerLost, 123_456)
     );
-    assert_eq!(past.fleet.at_least(0), 40);
+    assert_eq!(past.fleet_size.at_least(0), 40);
 }
--- a/crates/lab/src/crossing.rs
+++ b/crates/testbed/src/crossing.rs
@@ -109,7 +109,7 @@
             .map(|r| {
                 length(r)
                     * settings
-                        .rung_worth
+                        .rung_utility
                         .get(usize::from(r.2))
                         .copied()
                         .unwrap_or(0.0)
@@ -119,9 +119,9 @@
         *self
             .worth
             .entry(config.classes[s.class].clone())
-            .or_default() += earned * class.worth * delivered;
+            .or_default() += earned * class.priority_weight * delivered;
         if from != s.zone && !s.zone.is_empty() {
-            let paid = class.effect == crankpaddle::Effect::SingleShot;
+            let paid = class.idempotency == crankpaddle::Idempotency::AtMostOnce;
             for (from, to, rung) in &s.rungs {
                 for second in from / SECOND..=to / SECOND {
                     let part = (second * SECOND + SECOND).min(*to) - (second * SECOND).max(*from);
--- a/crates/lab/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -1,22 +1,22 @@
 //! Plays a case of a fleet with processes: fronts that know each other over a net of sockets in the middle, stand-in servers,
 //! a list service and players; judged by what crossed sockets.
-use crate::day::{arrivals, habits, layout, BLUR, DRAIN_GRACE};
-use crate::hosts::Hosts;
-pub use crate::hosts::Memory;
-use crate::judge::{judge, Rules, Verdict};
+use crate::host_faults::Hosts;
+pub use crate::host_faults::Memory;
+use crate::invariant_checker::{judge, Rules, Verdict};
 use crate::list_service::{entry, ListService};
-use crate::mesh::{write_key, Mesh};
+use crate::membership_poll::Views;
 use crate::player::{Crowd, Habits, Visit};
 use crate::process::{end_all, with_workers, Process};
 use crate::record::{Record, Recorder, Seen, Told};
+use crate::scenario_runner::{arrivals, habits, layout, BLUR, DRAIN_GRACE};
 use crate::script::{fleet_config, front_block, Day};
 use crate::server::Fleet;
-use crate::views::Views;
+use crate::udp_proxy::{write_key, Mesh};
 use crankpaddle_config::Config;
-use crankpaddle_fleet_net::{play, Act, Case, Fronts, Played, Power, Rate, Turn, World};
-use crankpaddle_membership::{Standing, State};
+use crankpaddle_fault_simulation::{play, Act, Case, Fronts, Played, Power, Rate, Turn, World};
+use crankpaddle_membership::{LocalHealth, MemberState};
 use crankpaddle_net::{clock, spawn, Stack};
-use crankpaddle_upstream::list;
+use crankpaddle_server_protocol::list;
 use rustix::process::Signal;
 use std::collections::HashMap;
 use std::io;
@@ -271,7 +271,7 @@
     fn lost(&self, paid: bool) -> (u64, u64, u64) {
         let is_paid = |class: u8| {
             let of = self.stage.config.settings.classes.get(usize::from(class));
-            of.is_some_and(|c| c.effect == crankpaddle::Effect::SingleShot)
+            of.is_some_and(|c| c.idempotency == crankpaddle::Idempotency::AtMostOnce)
         };
         self.crowd.lost(|class| !paid || is_paid(class))
     }
@@ -364,11 +364,11 @@
         Ok(())
     }
 
-    fn state(&self, at: usize, of: usize) -> Option<State> {
+    fn state(&self, at: usize, of: usize) -> Option<MemberState> {
         self.views.state(at, of)
     }
 
-    fn standing(&self, at: usize) -> Option<Standing> {
+    fn standing(&self, at: usize) -> Option<LocalHealth> {
         self.views.standing(at)
     }
 
@@ -433,7 +433,7 @@
     let entries: Vec<_> = fleet
         .servers
         .iter()
-        .map(|s| entry(&config, s.id, s.address, list::State::Ready, 0))
+        .map(|s| entry(&config, s.id, s.address, list::EndpointState::Ready, 0))
         .collect();
     let list = ListService::start(entries, day.list_delay, recorder.clone())?;
     let stage = Stage {
@@ -514,7 +514,7 @@
         .all()
         .iter()
         .any(|r| matches!(r.seen, Seen::Died { .. }));
-    let patience = clock::now() + config.terms.resume + 5 * SECOND;
+    let patience = clock::now() + config.terms.resume_window + 5 * SECOND;
     while !died && stage.fleet.streams() > 0 && clock::now() < patience {
         std::thread::sleep(Duration::from_millis(50));
     }
--- a/crates/lab/src/hosts.rs
+++ b/crates/testbed/src/host_faults.rs
@@ -1,11 +1,11 @@
 //! Hosts whose power goes: the disks and boots of fronts, and servers that come back cold.
 use crate::list_service::{entry, ListService};
-use crate::mesh::write_key;
 use crate::server::Fleet;
+use crate::udp_proxy::write_key;
 use crankpaddle_config::Config;
-use crankpaddle_fleet_net::Spoil;
-use crankpaddle_front::spread;
-use crankpaddle_upstream::list::State;
+use crankpaddle_fault_simulation::Spoil;
+use crankpaddle_front::jitter;
+use crankpaddle_server_protocol::list::EndpointState;
 use std::fs;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -115,7 +115,13 @@
                 .unwrap_or_default()
                 .as_millis() as u64;
             let address = fleet.servers[id as usize].address;
-            list.change(entry(&fleet.config, id, address, State::Ready, started));
+            list.change(entry(
+                &fleet.config,
+                id,
+                address,
+                EndpointState::Ready,
+                started,
+            ));
         }
         Ok(())
     }
@@ -139,7 +145,7 @@
                 Spoil::Old => replace(&self.copied(*i), &store)?,
                 Spoil::Torn => {
                     let whole = fs::read(&file)?;
-                    let at = (spread(self.seed ^ (*i as u64) << 20) * whole.len() as f64) as usize;
+                    let at = (jitter(self.seed ^ (*i as u64) << 20) * whole.len() as f64) as usize;
                     fs::write(&file, &whole[..at])?;
                 }
             }
@@ -151,14 +157,15 @@
     /// falling over at each moment: what no front can better. Those whose power stayed take all at once.
     pub(crate) fn warming(&self, config: &Config, sessions: f64) -> Option<u64> {
         let s = &config.settings;
-        let pace = f64::from(*s.places.first()?) / s.cold as f64 * s.fall_multiple;
+        let pace = f64::from(*s.stream_capacity.first()?) / s.slow_start_duration as f64
+            * s.overload_multiple;
         let mut taken = 0.0;
         for step in 0..STEPS {
             if taken >= sessions {
                 return Some(step * STEP);
             }
-            let age = (step * STEP) as f64 / s.cold as f64;
-            let warmth = (s.cold_share + (1.0 - s.cold_share) * age).min(1.0);
+            let age = (step * STEP) as f64 / s.slow_start_duration as f64;
+            let warmth = (s.slow_start_min_factor + (1.0 - s.slow_start_min_factor) * age).min(1.0);
             taken += self.cold as f64 * pace * warmth * STEP as f64;
         }
         None
--- a/crates/lab/src/import.rs
+++ b/crates/testbed/src/import.rs
@@ -451,8 +451,8 @@
         assert_eq!(config.settings.link_kb, 600.0);
         assert_eq!(
             (
-                config.settings.classes[1].floor,
-                config.settings.classes[1].seats
+                config.settings.classes[1].min_rung,
+                config.settings.classes[1].max_sessions_per_title
             ),
             (1, 3)
         );
--- a/crates/lab/src/judge.rs
+++ b/crates/testbed/src/invariant_checker.rs
@@ -4,7 +4,7 @@
 //! seen here can be later than what was done, by [`Rules::blur`] at the most. A front that stood still is excused
 //! for being late, not for being wrong.
 use crate::record::{Record, Reply, Seen, Told};
-use crankpaddle::Effect;
+use crankpaddle::Idempotency;
 use crankpaddle_config::Config;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
@@ -49,20 +49,20 @@
         let s = &config.settings;
         let class = |(name, c): (&String, &crankpaddle::Class)| ClassRule {
             name: name.clone(),
-            paid: c.effect == Effect::SingleShot,
-            floor: c.floor,
-            seats: c.seats,
+            paid: c.idempotency == Idempotency::AtMostOnce,
+            floor: c.min_rung,
+            seats: c.max_sessions_per_title,
         };
         Rules {
             classes: config.classes.iter().zip(&s.classes).map(class).collect(),
             drain_grace,
-            cold: s.cold,
-            cold_share: s.cold_share,
-            fall_multiple: s.fall_multiple,
-            fall: s.fall,
+            cold: s.slow_start_duration,
+            cold_share: s.slow_start_min_factor,
+            fall_multiple: s.overload_multiple,
+            fall: s.overload_window,
             retry: s
-                .extra_floor
-                .map(|floor| (floor, s.extra_share, s.extra_window)),
+                .retry_budget_min
+                .map(|floor| (floor, s.retry_budget_ratio, s.retry_budget_window)),
             blur,
         }
     }
--- a/crates/lab/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -4,10 +4,10 @@
 //! - [`model`]: links, uplinks, set-up work, warmth and falling over, pure;
 //! - [`server`], [`list_service`], [`player`]: stand-ins on loopback sockets, which record what passes;
 //! - [`record`]: what was seen on the sockets, and when;
-//! - [`judge`]: the six rules, judged from records alone;
+//! - [`invariant_checker`]: the six rules, judged from records alone;
 //! - [`process`]: fronts as processes;
-//! - [`day`]: plays a script against front processes;
-//! - [`mesh`], [`views`], [`fleet`]: plays a case of a fleet whose fronts know each other, with faults between every ordered pair;
+//! - [`scenario_runner`]: plays a script against front processes;
+//! - [`udp_proxy`], [`membership_poll`], [`fleet`]: plays a case of a fleet whose fronts know each other, with faults between every ordered pair;
 //! - [`import`]: scripts from the bench's day files.
 //!
 //! All figures that come out of it are from simulated servers.
@@ -15,22 +15,22 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 pub mod crossing;
-pub mod day;
 pub mod disk;
+pub mod fault_mode;
 pub mod fleet;
-mod hosts;
+mod host_faults;
 pub mod import;
-pub mod judge;
-mod ledger;
+pub mod invariant_checker;
 pub mod list_service;
-mod losses;
-pub mod mesh;
-pub mod mode;
+mod loss_analysis;
+pub mod membership_poll;
 pub mod model;
 pub mod player;
 pub mod process;
 pub mod record;
+pub mod scenario_runner;
 pub mod script;
 pub mod server;
-pub mod telling;
-pub mod views;
+pub mod server_reports;
+mod setup_log;
+pub mod udp_proxy;
--- a/crates/lab/src/list_service.rs
+++ b/crates/testbed/src/list_service.rs
@@ -1,12 +1,12 @@
 //! Stand-in list service: knows which processes run, and tells every front late.
 use crate::record::{Recorder, Seen};
 use crankpaddle_config::Config;
-use crankpaddle_front::RosterKind;
+use crankpaddle_front::EndpointListKind;
 use crankpaddle_http::sse;
-use crankpaddle_net::exchange::Wire;
-use crankpaddle_net::{accept_each, clock, listen, sleep, spawn, Outbox, Socket, Stack};
-pub use crankpaddle_upstream::list::State;
-use crankpaddle_upstream::list::{self, Entry, List};
+use crankpaddle_net::exchange::HttpExchange;
+use crankpaddle_net::{accept_each, clock, listen, sleep, spawn, Socket, Stack, WriteBuffer};
+pub use crankpaddle_server_protocol::list::EndpointState;
+use crankpaddle_server_protocol::list::{self, EndpointEntry, EndpointListBody};
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
@@ -24,10 +24,10 @@
 #[derive(Default)]
 struct Known {
     /// What fronts are told by now.
-    list: List,
+    list: EndpointListBody,
     /// Changes that they are told later.
-    late: VecDeque<(u64, Entry)>,
-    fronts: Vec<(String, Arc<Outbox>)>,
+    late: VecDeque<(u64, EndpointEntry)>,
+    fronts: Vec<(String, Arc<WriteBuffer>)>,
 }
 
 /// The service.
@@ -45,12 +45,12 @@
     config: &Config,
     id: u32,
     address: SocketAddr,
-    state: State,
+    state: EndpointState,
     started_ms: u64,
-) -> Entry {
+) -> EndpointEntry {
     let zone = config.zones[id as usize % config.zones.len()].clone();
     let cell = (id % config.settings.cells) as u16;
-    Entry {
+    EndpointEntry {
         id,
         zone,
         kind: config.kinds[0].clone(),
@@ -68,13 +68,13 @@
     /// # Errors
     /// No port can be listened on.
     pub fn start(
-        servers: Vec<Entry>,
+        servers: Vec<EndpointEntry>,
         delay: u64,
         recorder: Recorder,
     ) -> io::Result<Arc<ListService>> {
         let listener = listen(([127, 0, 0, 1], 0).into())?;
         let known = Known {
-            list: List { serial: 1, servers },
+            list: EndpointListBody { serial: 1, servers },
             ..Known::default()
         };
         let service = Arc::new(ListService {
@@ -114,12 +114,12 @@
             lock(&self.known)
                 .fronts
                 .drain(..)
-                .for_each(|(_, outbox)| outbox.socket().shut());
+                .for_each(|(_, outbox)| outbox.socket().close());
         }
     }
 
     /// Something changed; fronts are told later.
-    pub fn change(&self, entry: Entry) {
+    pub fn change(&self, entry: EndpointEntry) {
         let at = clock::now() + self.delay.load(Ordering::Acquire);
         lock(&self.known).late.push_back((at, entry));
     }
@@ -135,7 +135,7 @@
         });
         known
             .fronts
-            .retain(|(_, outbox)| !outbox.socket().is_shut());
+            .retain(|(_, outbox)| !outbox.socket().is_closed());
         if beats && !self.gone.load(Ordering::Acquire) {
             for (_, outbox) in &known.fronts {
                 outbox.push(sse::HEARTBEAT);
@@ -150,11 +150,11 @@
             known
                 .list
                 .servers
-                .extend((entry.state != State::Gone).then(|| entry.clone()));
+                .extend((entry.state != EndpointState::Gone).then(|| entry.clone()));
         }
         let delta = list::write(
-            RosterKind::Delta,
-            &List {
+            EndpointListKind::Delta,
+            &EndpointListBody {
                 serial: known.list.serial,
                 servers: due.clone(),
             },
@@ -165,8 +165,8 @@
         }
     }
 
-    fn listed(&self, front: &str, entry: &Entry) {
-        let ready = entry.state == State::Ready;
+    fn listed(&self, front: &str, entry: &EndpointEntry) {
+        let ready = entry.state == EndpointState::Ready;
         self.recorder.see(Seen::Listed {
             front: front.to_owned(),
             server: entry.id,
@@ -175,7 +175,7 @@
     }
 
     fn serve(&self, socket: Arc<Socket>) {
-        let mut wire = Wire::new(socket.clone());
+        let mut wire = HttpExchange::new(socket.clone());
         let Ok((request, _)) = wire.request(1024, 0) else {
             return;
         };
@@ -188,12 +188,12 @@
         if self.gone.load(Ordering::Acquire) || request.path().0 != "/servers/events" {
             return;
         }
-        let outbox = Arc::new(Outbox::new(socket.clone(), 1 << 20));
+        let outbox = Arc::new(WriteBuffer::new(socket.clone(), 1 << 20));
         let head =
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n";
         {
             let mut known = lock(&self.known);
-            let whole = list::write(RosterKind::Full, &known.list);
+            let whole = list::write(EndpointListKind::Full, &known.list);
             outbox.push(&[head.as_bytes(), &whole].concat());
             known
                 .list
@@ -203,6 +203,6 @@
             known.fronts.push((front, outbox.clone()));
         }
         outbox.until_closed(); // Nothing more comes from the front but its end.
-        socket.shut();
+        socket.close();
     }
 }
--- a/crates/lab/src/views.rs
+++ b/crates/testbed/src/membership_poll.rs
@@ -1,8 +1,8 @@
 //! What fronts tell of each other at `GET /members`, asked for over and over: the only word that a rig takes on them.
-use crate::mesh::Mesh;
+use crate::udp_proxy::Mesh;
 use crankpaddle_api::describe::{Members, OwnStanding, PeerState};
-use crankpaddle_fleet_net::{number, Turn};
-use crankpaddle_membership::{Standing, State};
+use crankpaddle_fault_simulation::{number, Turn};
+use crankpaddle_membership::{LocalHealth, MemberState};
 use crankpaddle_net::clock;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -19,8 +19,8 @@
 struct View {
     address: Option<SocketAddr>, // None: it does not run.
     life: u64,
-    states: Vec<Option<State>>,
-    standing: Option<Standing>,
+    states: Vec<Option<MemberState>>,
+    standing: Option<LocalHealth>,
     last: u64, // Number of its last change that was heard.
 }
 
@@ -159,12 +159,12 @@
     }
 
     /// What one takes another for.
-    pub fn state(&self, at: usize, of: usize) -> Option<State> {
+    pub fn state(&self, at: usize, of: usize) -> Option<MemberState> {
         self.lock().views[at].states[of]
     }
 
     /// How one stands.
-    pub fn standing(&self, at: usize) -> Option<Standing> {
+    pub fn standing(&self, at: usize) -> Option<LocalHealth> {
         self.lock().views[at].standing
     }
 
@@ -187,21 +187,21 @@
     }
 }
 
-fn state(told: PeerState) -> State {
+fn state(told: PeerState) -> MemberState {
     match told {
-        PeerState::Alive => State::Alive,
-        PeerState::Suspect => State::Suspect,
-        PeerState::Gone => State::Gone,
-        PeerState::Left => State::Left,
+        PeerState::Alive => MemberState::Alive,
+        PeerState::Suspect => MemberState::Suspect,
+        PeerState::Gone => MemberState::Gone,
+        PeerState::Left => MemberState::Left,
     }
 }
 
-fn standing(told: OwnStanding) -> Standing {
+fn standing(told: OwnStanding) -> LocalHealth {
     match told {
-        OwnStanding::Alone => Standing::Alone,
-        OwnStanding::Connected => Standing::Connected,
-        OwnStanding::Doubtful => Standing::Doubtful,
-        OwnStanding::CutOff => Standing::CutOff,
-        OwnStanding::Replaced => Standing::Replaced,
+        OwnStanding::Alone => LocalHealth::Alone,
+        OwnStanding::Connected => LocalHealth::Connected,
+        OwnStanding::Doubtful => LocalHealth::Degraded,
+        OwnStanding::CutOff => LocalHealth::Isolated,
+        OwnStanding::Replaced => LocalHealth::Replaced,
     }
 }
--- a/crates/lab/src/player.rs
+++ b/crates/testbed/src/player.rs
@@ -1,13 +1,13 @@
 //! Scripted players: they open a session over WebSocket, fetch its media, and come again as viewers do.
-use crate::losses::Losses;
+use crate::loss_analysis::Losses;
 use crate::record::{Recorder, Seen, Told};
 use crankpaddle_http::head;
-use crankpaddle_net::exchange::Wire;
-use crankpaddle_net::{clock, sleep, Outbox, Socket, Sweeper};
-use crankpaddle_session_api::client::{self, Said};
+use crankpaddle_net::exchange::HttpExchange;
+use crankpaddle_net::{clock, sleep, IdleSweeper, Socket, WriteBuffer};
+use crankpaddle_server_protocol::sessions::bill;
+use crankpaddle_session_api::client::{self, ClientEvent};
 use crankpaddle_session_api::methods::Open;
 use crankpaddle_session_api::Version;
-use crankpaddle_upstream::sessions::bill;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::VecDeque;
@@ -30,12 +30,12 @@
 
 /// A WebSocket connection to a front.
 pub struct Client {
-    outbox: Outbox,
+    outbox: WriteBuffer,
     context: WebSocketContext,
-    ready: VecDeque<Said>,
+    ready: VecDeque<ClientEvent>,
 }
 
-struct Stream<'a>(&'a Outbox);
+struct Stream<'a>(&'a WriteBuffer);
 
 impl Read for Stream<'_> {
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
@@ -66,7 +66,7 @@
     ///
     /// # Errors
     /// The front is not there or does not agree.
-    pub fn connect(address: &SocketAddr, sweeper: &Sweeper) -> io::Result<Client> {
+    pub fn connect(address: &SocketAddr, sweeper: &IdleSweeper) -> io::Result<Client> {
         let socket = Arc::new(Socket::connect(address, CONNECT)?);
         socket.set_expiry(clock::now() + CONNECT.as_nanos() as u64);
         sweeper.watch(&socket);
@@ -80,7 +80,7 @@
         ];
         let request = head::request("GET", "/session", &address.to_string(), &fields, b"");
         socket.write_all(&request).map_err(|(_, e)| e)?;
-        let mut wire = Wire::new(socket.clone());
+        let mut wire = HttpExchange::new(socket.clone());
         let refused = |what: String| io::Error::new(ErrorKind::ConnectionRefused, what);
         let answer = wire.response_head().map_err(|e| refused(e.to_string()))?;
         if answer.status != 101
@@ -95,7 +95,7 @@
         let context =
             WebSocketContext::from_partially_read(wire.into_rest(), Role::Client, Some(config));
         Ok(Client {
-            outbox: Outbox::new(socket, 1 << 20),
+            outbox: WriteBuffer::new(socket, 1 << 20),
             context,
             ready: VecDeque::new(),
         })
@@ -116,7 +116,7 @@
     ///
     /// # Errors
     /// The connection is gone, or what came is no message of a front.
-    pub fn poll(&mut self) -> io::Result<Option<Said>> {
+    pub fn poll(&mut self) -> io::Result<Option<ClientEvent>> {
         while self.ready.is_empty() {
             match self.context.read(&mut Stream(&self.outbox)) {
                 Ok(Message::Text(text)) => {
@@ -138,7 +138,7 @@
     ///
     /// # Errors
     /// The time has come ([`ErrorKind::TimedOut`]) or the connection is gone.
-    pub fn next(&mut self, until: u64) -> io::Result<Said> {
+    pub fn next(&mut self, until: u64) -> io::Result<ClientEvent> {
         loop {
             if let Some(said) = self.poll()? {
                 return Ok(said);
@@ -149,7 +149,7 @@
             }
             self.outbox.socket().set_expiry(until);
             self.outbox.socket().wait();
-            if self.outbox.socket().is_shut() && clock::now() >= until {
+            if self.outbox.socket().is_closed() && clock::now() >= until {
                 return Err(ErrorKind::TimedOut.into());
             }
             self.outbox.socket().set_expiry(u64::MAX);
@@ -158,7 +158,7 @@
 
     /// Ends the connection at once, as a lost player does.
     pub fn cut(&self) {
-        self.outbox.socket().shut();
+        self.outbox.socket().close();
     }
 
     /// Ends the connection as WebSocket has it.
@@ -208,7 +208,7 @@
     pub recorder: Recorder,
     /// How they behave.
     pub habits: Habits,
-    sweeper: Sweeper,
+    sweeper: IdleSweeper,
     calls: AtomicU64,
     there: AtomicU64,
     aborted: AtomicU64,
@@ -238,7 +238,7 @@
         Crowd {
             recorder,
             habits,
-            sweeper: Sweeper::start(Duration::from_millis(50)),
+            sweeper: IdleSweeper::start(Duration::from_millis(50)),
             calls: AtomicU64::new(1),
             there: AtomicU64::new(0),
             aborted: AtomicU64::new(0),
@@ -287,7 +287,7 @@
     }
 
     /// Watches connections of clients made by hand.
-    pub fn sweeper(&self) -> &Sweeper {
+    pub fn sweeper(&self) -> &IdleSweeper {
         &self.sweeper
     }
 
@@ -378,7 +378,7 @@
             return Came::Lost;
         }
         match said {
-            Some(Said::Plays { session, media, .. }) => {
+            Some(ClientEvent::Plays { session, media, .. }) => {
                 self.losses().watches(visit.seed, visit.class.0);
                 let time = visit.watch.min(wants.saturating_sub(clock::now()));
                 let came = self.watch(client, &session, &media, time);
@@ -388,11 +388,11 @@
                 came
             }
             // What he had is lost with his server: he buys anew.
-            Some(Said::Failed { .. }) if again && self.habits.keeps_key => {
+            Some(ClientEvent::Failed { .. }) if again && self.habits.keeps_key => {
                 client.close();
                 Came::Back(None)
             }
-            Some(Said::Refused { retry_after_ms, .. }) => {
+            Some(ClientEvent::Refused { retry_after_ms, .. }) => {
                 client.close();
                 Came::Back(retry_after_ms.map(|ms| ms * MILLISECOND))
             }
@@ -442,7 +442,7 @@
     }
 
     /// Waits for the answer to a call; `None` if none came.
-    fn answer(&self, client: &mut Client, call: u64, gives_up: u64) -> Option<Said> {
+    fn answer(&self, client: &mut Client, call: u64, gives_up: u64) -> Option<ClientEvent> {
         loop {
             match client.next(gives_up + LISTEN_ON) {
                 Ok(said) => {
@@ -471,7 +471,7 @@
         };
         let mut bytes = 0u64;
         let target = format!("/{path}");
-        let mut wire: Option<Wire> = None;
+        let mut wire: Option<HttpExchange> = None;
         let mut over = None;
         while self.stays(until) && over.is_none() {
             let fetched = self.segment(&mut wire, &address, &target, until);
@@ -482,7 +482,7 @@
             }
             loop {
                 match client.poll() {
-                    Ok(Some(Said::End { retry_after_ms, .. })) => {
+                    Ok(Some(ClientEvent::End { retry_after_ms, .. })) => {
                         over = Some(retry_after_ms.map(|ms| ms * MILLISECOND));
                     }
                     Ok(Some(_)) => {}
@@ -504,7 +504,8 @@
         let _ = client.send(client::close(call, session)); // A lost front's sessions are over too.
         let patience = clock::now() + 2 * SECOND;
         while let Ok(said) = client.next(patience) {
-            if matches!(said, Said::Closed { id } | Said::Unknown { id } if id == call) {
+            if matches!(said, ClientEvent::Closed { id } | ClientEvent::Unknown { id } if id == call)
+            {
                 break;
             }
         }
@@ -515,7 +516,7 @@
     /// Fetches a segment; the bytes read, also where it broke off.
     fn segment(
         &self,
-        wire: &mut Option<Wire>,
+        wire: &mut Option<HttpExchange>,
         address: &SocketAddr,
         target: &str,
         until: u64,
@@ -523,7 +524,7 @@
         if wire.is_none() {
             let socket = Arc::new(Socket::connect(address, CONNECT).map_err(|_| 0u64)?);
             self.sweeper.watch(&socket);
-            *wire = Some(Wire::new(socket));
+            *wire = Some(HttpExchange::new(socket));
         }
         let Some(wire) = wire else { return Err(0) };
         wire.socket.set_expiry(until + SECOND);
@@ -546,13 +547,13 @@
 }
 
 /// What an answer to this call tells; `None` for other messages.
-fn told(said: &Said, call: u64) -> Option<Told> {
+fn told(said: &ClientEvent, call: u64) -> Option<Told> {
     match said {
-        Said::Plays { id, .. } if *id == call => Some(Told::Plays),
-        Said::Refused { id, .. } if *id == call => Some(Told::Refused),
-        Said::Failed { id, .. } if *id == call => Some(Told::Failed),
-        Said::Superseded { id } if *id == call => Some(Told::Superseded),
-        Said::Error { id, .. } if *id == Some(call) => Some(Told::Error),
+        ClientEvent::Plays { id, .. } if *id == call => Some(Told::Plays),
+        ClientEvent::Refused { id, .. } if *id == call => Some(Told::Refused),
+        ClientEvent::Failed { id, .. } if *id == call => Some(Told::Failed),
+        ClientEvent::Superseded { id } if *id == call => Some(Told::Superseded),
+        ClientEvent::Error { id, .. } if *id == Some(call) => Some(Told::Error),
         _ => None,
     }
 }
--- a/crates/lab/src/day.rs
+++ b/crates/testbed/src/scenario_runner.rs
@@ -1,20 +1,20 @@
 //! Plays a scripted day: fronts as processes of their own, all else as stand-ins in this one.
 use crate::crossing::{crossed, Crossed};
-use crate::judge::{judge, Rules, Verdict};
+use crate::fault_mode::Astray;
+use crate::invariant_checker::{judge, Rules, Verdict};
 use crate::list_service::{entry, ListService};
-use crate::mesh::{write_key, Mesh};
-use crate::mode::Astray;
+use crate::membership_poll::Views;
 use crate::player::{Crowd, Habits, Visit};
 use crate::process::{end_all, with_workers, Process};
 use crate::record::{Record, Recorder, Seen};
 use crate::script::{fleet_config, front_block, Day, Fault, Kind};
 use crate::server::{Fleet, Layout};
-use crate::views::Views;
+use crate::udp_proxy::{write_key, Mesh};
 use crankpaddle_config::Config;
+use crankpaddle_cross_zone_traffic::report::{merge, TrafficReport};
 use crankpaddle_net::{clock, spawn, Stack};
-use crankpaddle_traffic::report::{together, Report};
+use crankpaddle_server_protocol::list::EndpointState;
 use crankpaddle_traffic_report::fetch;
-use crankpaddle_upstream::list::State;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rustix::process::Signal;
@@ -68,7 +68,7 @@
     /// What crossed and what it was worth, by the servers' own records.
     pub crossed: Crossed,
     /// The fronts' reports of traffic, together.
-    pub told: Report,
+    pub told: TrafficReport,
     /// When arrivals began, nanoseconds of the laboratory's clock.
     pub start: u64,
 }
@@ -133,9 +133,9 @@
 }
 
 impl Stage {
-    fn listed(&self, server: u32, state: State) {
+    fn listed(&self, server: u32, state: EndpointState) {
         let address = self.fleet.servers[server as usize].address;
-        let started = if state == State::Ready {
+        let started = if state == EndpointState::Ready {
             clock::now() / MILLISECOND
         } else {
             0
@@ -155,13 +155,13 @@
                 Kind::Astray(how) => fleet.set_mode(server, |m| m.astray = how),
                 Kind::Vanish => {
                     fleet.set_mode(server, |m| m.vanished = true);
-                    self.listed(server, State::Gone);
+                    self.listed(server, EndpointState::Gone);
                 }
                 Kind::Crash => {
                     fleet.crash(server);
-                    self.listed(server, State::Gone);
+                    self.listed(server, EndpointState::Gone);
                 }
-                Kind::Drain => self.listed(server, State::Draining),
+                Kind::Drain => self.listed(server, EndpointState::Draining),
                 _ => {}
             }
         }
@@ -197,7 +197,7 @@
                     }
                     fleet.crash(server);
                     fleet.restart(server)?;
-                    self.listed(server, State::Ready);
+                    self.listed(server, EndpointState::Ready);
                 }
                 _ => {}
             }
@@ -273,7 +273,7 @@
                 class: (class as u8, config.classes[class].clone()),
                 watch: (exponential(&mut rng, day.watch as f64) as u64)
                     .clamp(day.watch / 10, day.watch * 4),
-                patience: config.terms.give_up[class],
+                patience: config.terms.max_wait[class],
                 top: if small { rungs / 2 } else { rungs - 1 },
                 fronts: Vec::new(),
             },
@@ -318,7 +318,7 @@
     let entries = fleet
         .servers
         .iter()
-        .map(|s| entry(&config, s.id, s.address, State::Ready, 0))
+        .map(|s| entry(&config, s.id, s.address, EndpointState::Ready, 0))
         .collect();
     let list = ListService::start(entries, day.list_delay, recorder.clone())?;
     let known = if play.peers {
@@ -353,7 +353,7 @@
     };
     let start = clock::now();
     let played = run(day, play, &stage, &fronts);
-    let told = together(fronts.iter().filter_map(|f| traffic(&f.process.address)));
+    let told = merge(fronts.iter().filter_map(|f| traffic(&f.process.address)));
     views.iter().for_each(Views::end);
     // Whatever happened, no front is left behind.
     let mut faults = Vec::new();
@@ -443,7 +443,7 @@
         std::thread::sleep(Duration::from_millis(50));
     }
     // Sessions of players that did not come back are ended by the front after its time.
-    let patience = clock::now() + stage.config.terms.resume + 5 * SECOND;
+    let patience = clock::now() + stage.config.terms.resume_window + 5 * SECOND;
     while stage.fleet.streams() > 0 && clock::now() < patience {
         std::thread::sleep(Duration::from_millis(50));
     }
@@ -460,7 +460,7 @@
 }
 
 /// A front's report of traffic, when all of it is settled.
-fn traffic(front: &SocketAddr) -> Option<Report> {
+fn traffic(front: &SocketAddr) -> Option<TrafficReport> {
     let mut last = None;
     for _ in 0..SETTLED_WITHIN {
         let report = fetch(front, Duration::from_secs(5)).ok()?;
--- a/crates/lab/src/script.rs
+++ b/crates/testbed/src/script.rs
@@ -1,5 +1,5 @@
 //! Days as files: protobuf text format, checked with line, column and what is allowed.
-use crate::mode::Astray;
+use crate::fault_mode::Astray;
 use crankpaddle_config::{Config, Problem};
 use crankpaddle_textproto::Checks;
 
--- a/crates/lab/src/server/mod.rs
+++ b/crates/testbed/src/server/mod.rs
@@ -2,16 +2,16 @@
 mod sessions;
 mod streams;
 
-use crate::ledger::Ledger;
-use crate::mode::Mode;
+use crate::fault_mode::Mode;
 use crate::model::{Model, Spec};
 use crate::record::{Recorder, Seen};
+use crate::setup_log::Ledger;
 use crankpaddle_config::Config;
-use crankpaddle_front::spread;
+use crankpaddle_front::jitter;
 use crankpaddle_http::problem::Problem;
-use crankpaddle_net::exchange::Wire;
-use crankpaddle_net::{accept_each, clock, listen, sleep, Outbox, Socket, Sweeper};
-use crankpaddle_upstream::notes::{self, Over};
+use crankpaddle_net::exchange::HttpExchange;
+use crankpaddle_net::{accept_each, clock, listen, sleep, IdleSweeper, Socket, WriteBuffer};
+use crankpaddle_server_protocol::event_stream::{self, SessionOver};
 use may::net::TcpListener;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::io;
@@ -58,7 +58,7 @@
     /// Where all is recorded.
     pub recorder: Recorder,
     pub(crate) model: Mutex<Model>,
-    sweeper: Sweeper,
+    sweeper: IdleSweeper,
     segment: u64,
     streams: AtomicU64,
     dice: AtomicU64,
@@ -76,7 +76,7 @@
     boot: AtomicU64,
     pub(crate) up: AtomicBool,
     sockets: Mutex<Vec<Weak<Socket>>>,
-    pub(crate) notes: Mutex<HashMap<String, Arc<Outbox>>>,
+    pub(crate) notes: Mutex<HashMap<String, Arc<WriteBuffer>>>,
     pub(crate) sessions: Mutex<BTreeMap<String, Session>>,
     ledger: Mutex<Ledger>,
     started: AtomicU64, // When its process did.
@@ -116,15 +116,15 @@
         let spec = Spec {
             cores: layout.cores,
             work: layout.work,
-            places: s.places[0],
-            cold: s.cold,
-            cold_share: s.cold_share,
-            fall_multiple: s.fall_multiple,
-            fall: s.fall,
-            guard: s.server_guard,
+            places: s.stream_capacity[0],
+            cold: s.slow_start_duration,
+            cold_share: s.slow_start_min_factor,
+            fall_multiple: s.overload_multiple,
+            fall: s.overload_window,
+            guard: s.server_rejection_threshold,
         };
         let uneven =
-            |n: usize| 1.0 + layout.uneven * (2.0 * spread(layout.seed ^ (n as u64) << 8) - 1.0);
+            |n: usize| 1.0 + layout.uneven * (2.0 * jitter(layout.seed ^ (n as u64) << 8) - 1.0);
         let racks = s.racks as usize;
         let links: Vec<_> = (0..layout.count)
             .map(|n| (n % racks, s.link_kb * uneven(n)))
@@ -140,7 +140,7 @@
         let fleet = Arc::new(Fleet {
             recorder,
             model: Mutex::new(Model::new(spec, &links, uplinks)),
-            sweeper: Sweeper::start(Duration::from_millis(100)),
+            sweeper: IdleSweeper::start(Duration::from_millis(100)),
             segment: layout.segment,
             streams: AtomicU64::new(1),
             dice: AtomicU64::new(layout.seed.rotate_left(17)),
@@ -155,7 +155,7 @@
     }
 
     fn dice(&self) -> f64 {
-        spread(self.dice.fetch_add(1, Ordering::Relaxed))
+        jitter(self.dice.fetch_add(1, Ordering::Relaxed))
     }
 
     /// Every link gives this many times less; 1: as it was.
@@ -194,7 +194,7 @@
         let boot = server.boot.fetch_add(1, Ordering::AcqRel) + 1;
         lock(&server.ledger).started(boot);
         server.started.store(clock::now(), Ordering::Release);
-        let places = f64::from(self.config.settings.places[0]);
+        let places = f64::from(self.config.settings.stream_capacity[0]);
         self.recorder.see(Seen::Started { server: id, places });
         server.listen(self, listener);
         Ok(())
@@ -282,7 +282,7 @@
         lock(&self.until).store(true, Ordering::Release);
         let _ = std::net::TcpStream::connect(self.address); // Wakes the listener, which then closes.
         for socket in lock(&self.sockets).drain(..).filter_map(|s| s.upgrade()) {
-            socket.shut();
+            socket.close();
         }
         lock(&self.notes).clear();
         lock(&self.ended).clear();
@@ -312,25 +312,25 @@
         let Some((front, bytes)) = held else { return };
         let outbox = lock(&self.notes).get(&front).cloned();
         if let Some(outbox) = outbox {
-            let over = Over {
+            let over = SessionOver {
                 session: name.to_owned(),
                 finished,
                 sent_bytes: Some(bytes),
             };
-            outbox.push(&notes::write("over", &over));
+            outbox.push(&event_stream::write("over", &over));
         }
     }
 
     fn serve(self: &Arc<Server>, fleet: &Arc<Fleet>, socket: Arc<Socket>) {
-        let mut wire = Wire::new(socket.clone());
+        let mut wire = HttpExchange::new(socket.clone());
         while let Ok((request, body)) = wire.request(MOST_BODY, 0) {
             while self.mode().vanished {
-                if socket.is_shut() {
+                if socket.is_closed() {
                     return;
                 }
                 sleep(TICK);
             }
-            if socket.is_shut() {
+            if socket.is_closed() {
                 return; // It died while silent: what it had not read it never will.
             }
             let (path, query) = request.path();
--- a/crates/lab/src/server/sessions.rs
+++ b/crates/testbed/src/server/sessions.rs
@@ -6,8 +6,8 @@
 use crankpaddle_http::orca;
 use crankpaddle_http::problem::Problem;
 use crankpaddle_net::{clock, sleep, Socket};
-use crankpaddle_upstream::book;
-use crankpaddle_upstream::sessions::{Ended, Order, Rung, FULL};
+use crankpaddle_server_protocol::session_inventory;
+use crankpaddle_server_protocol::sessions::{RungBody, SetUpBody, TearDownResult, FULL};
 use serde::de::DeserializeOwned;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -21,7 +21,7 @@
         name: &str,
         body: &[u8],
     ) -> Option<Vec<u8>> {
-        let order: Order = match read(body) {
+        let order: SetUpBody = match read(body) {
             Ok(order) => order,
             Err(problem) => return Some(problem),
         };
@@ -96,7 +96,8 @@
             due: 0,
         };
         lock(&self.sessions).insert(name.clone(), session);
-        let paid = fleet.config.settings.classes[class].effect == crankpaddle::Effect::SingleShot;
+        let paid = fleet.config.settings.classes[class].idempotency
+            == crankpaddle::Idempotency::AtMostOnce;
         let mut billed = false;
         // Work, and in a hang what never ends; either way the front may close meanwhile.
         while clock::now() < done || self.mode().hangs || self.mode().vanished {
@@ -126,7 +127,7 @@
         if fleet.dice() < mode.bills_and_resets {
             reply(Reply::Reset);
             self.end(fleet, &name);
-            socket.shut();
+            socket.close();
             return None;
         }
         let still = lock(&self.sessions)
@@ -151,7 +152,7 @@
         Some(head::response(201, &[(orca::FIELD, &metrics)], b""))
     }
 
-    pub(super) fn bill(&self, fleet: &Fleet, name: &str, order: &Order) {
+    pub(super) fn bill(&self, fleet: &Fleet, name: &str, order: &SetUpBody) {
         lock(&self.ledger).ran(name, order);
         fleet.recorder.see(Seen::Billed {
             name: name.to_owned(),
@@ -162,7 +163,7 @@
     /// What it knows of one front.
     pub(super) fn book(&self, fleet: &Fleet, query: &str) -> Vec<u8> {
         let front = query.strip_prefix("front=").unwrap_or("");
-        let held = |(name, s): (&String, &Session)| book::Held {
+        let held = |(name, s): (&String, &Session)| session_inventory::InventorySession {
             session: name.clone(),
             bill: s.bill.clone(),
             tenant: s.tenant.clone(),
@@ -188,8 +189,8 @@
     }
 
     pub(super) fn set_rung(&self, fleet: &Fleet, name: &str, body: &[u8]) -> Vec<u8> {
-        let rung = match read::<Rung>(body) {
-            Ok(Rung { rung }) => rung,
+        let rung = match read::<RungBody>(body) {
+            Ok(RungBody { rung }) => rung,
             Err(problem) => return problem,
         };
         let mut sessions = lock(&self.sessions);
@@ -219,7 +220,7 @@
             lock(&self.ended).insert(name.to_owned());
             return head::response(204, &[], b"");
         };
-        let body = serde_json::to_vec(&Ended { sent_bytes }).unwrap_or_default();
+        let body = serde_json::to_vec(&TearDownResult { sent_bytes }).unwrap_or_default();
         head::response(200, &[("content-type", "application/json")], &body)
     }
 }
--- a/crates/lab/src/server/streams.rs
+++ b/crates/testbed/src/server/streams.rs
@@ -1,8 +1,8 @@
 //! What a stand-in server sends for as long as it is listened to: media, and its word to a front.
 use super::{lock, Fleet, Server, Session, MILLISECOND, PIECES, SOON};
 use crankpaddle_http::problem::Problem;
-use crankpaddle_net::{clock, sleep, Outbox, Socket};
-use crankpaddle_upstream::notes::{self, Hello};
+use crankpaddle_net::{clock, sleep, Socket, WriteBuffer};
+use crankpaddle_server_protocol::event_stream::{self, StreamStart};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
@@ -61,7 +61,7 @@
 
     pub(super) fn events(&self, socket: &Arc<Socket>, query: &str) {
         let front = query.strip_prefix("front=").unwrap_or("").to_owned();
-        let outbox = Arc::new(Outbox::new(socket.clone(), 1 << 20));
+        let outbox = Arc::new(WriteBuffer::new(socket.clone(), 1 << 20));
         let fields = [
             ("content-type", "text/event-stream"),
             ("connection", "close"),
@@ -78,12 +78,12 @@
             .map(|(n, _)| n.clone());
         let age = clock::now().saturating_sub(self.started.load(Ordering::Acquire)) / MILLISECOND;
         let boot = self.boot.load(Ordering::Acquire).to_string();
-        let hello = Hello {
+        let hello = StreamStart {
             boot,
             sessions: held.collect(),
             age_ms: Some(age),
         };
-        first.extend(notes::write("hello", &hello));
+        first.extend(event_stream::write("hello", &hello));
         outbox.push(&first);
         lock(&self.notes).insert(front.clone(), outbox.clone());
         drop(sessions);
--- a/crates/lab/src/telling.rs
+++ b/crates/testbed/src/server_reports.rs
@@ -1,11 +1,13 @@
 //! What a stand-in server tells fronts unasked: short delivery, links, counts of bytes and of what crosses; each as late
 //! as the configuration says, and later, lost or doubled where a day's script says so.
-use crate::mode::Astray;
+use crate::fault_mode::Astray;
 use crate::server::{lock, Fleet, Server};
-use crankpaddle_front::spread;
+use crankpaddle_front::jitter;
 use crankpaddle_http::sse;
 use crankpaddle_net::{clock, sleep, spawn, Stack};
-use crankpaddle_upstream::notes::{self, Crossing, Told, Traffic};
+use crankpaddle_server_protocol::event_stream::{
+    self, CrossZoneRate, SessionUpdateMessage, TrafficCounts,
+};
 use std::collections::BTreeMap;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -24,7 +26,7 @@
 impl OnTheWay {
     fn dice(&mut self) -> f64 {
         self.drawn += 1;
-        spread(self.drawn)
+        jitter(self.drawn)
     }
 
     fn send(&mut self, due: u64, astray: Astray, front: &str, bytes: &[u8]) {
@@ -53,7 +55,7 @@
 
 impl Server {
     /// What it sends across to each zone and class, bytes a second at the rungs in force.
-    fn crossing(&self, fleet: &Fleet) -> Vec<Crossing> {
+    fn crossing(&self, fleet: &Fleet) -> Vec<CrossZoneRate> {
         let own = &fleet.config.zones[fleet.zone(self.id)];
         let mut rates: BTreeMap<(String, usize), f64> = BTreeMap::new();
         for session in lock(&self.sessions).values() {
@@ -66,7 +68,7 @@
         }
         let named = |((to, class), rate): ((String, usize), f64)| {
             let class = fleet.config.classes[class].clone();
-            Crossing { to, class, rate }
+            CrossZoneRate { to, class, rate }
         };
         rates.into_iter().map(named).collect()
     }
@@ -94,7 +96,7 @@
                     continue;
                 }
                 let (now, astray) = (clock::now(), server.mode().astray);
-                let due = now + s.note_delay;
+                let due = now + s.update_delay;
                 let (link, uplink, share) = {
                     let model = lock(&fleet.model);
                     let n = server.id as usize;
@@ -107,9 +109,9 @@
                         .or_insert_with(|| name.clone());
                 }
                 let short = now >= delivered_at + 1000 * MILLISECOND && share < 0.98;
-                let tell = now >= link_at + s.note_every;
+                let tell = now >= link_at + s.update_interval;
                 for (front, session) in of_front {
-                    let told = Told {
+                    let told = SessionUpdateMessage {
                         session,
                         delivered: short.then_some(share),
                         link: tell.then_some(link),
@@ -117,7 +119,7 @@
                         rung: None,
                     };
                     if short || tell {
-                        words.send(due, astray, &front, &notes::write("note", &told));
+                        words.send(due, astray, &front, &event_stream::write("note", &told));
                     }
                 }
                 let streams: Vec<_> = lock(&server.notes)
@@ -127,11 +129,16 @@
                 if tell {
                     let crossing = server.crossing(&fleet);
                     for (front, _) in &streams {
-                        let traffic = Traffic {
+                        let traffic = TrafficCounts {
                             sent: server.sent(front),
                             crossing: crossing.clone(),
                         };
-                        words.send(due, astray, front, &notes::write("traffic", &traffic));
+                        words.send(
+                            due,
+                            astray,
+                            front,
+                            &event_stream::write("traffic", &traffic),
+                        );
                     }
                 }
                 delivered_at = if short { now } else { delivered_at };
--- a/crates/lab/src/ledger.rs
+++ b/crates/testbed/src/setup_log.rs
@@ -1,13 +1,15 @@
 //! What a stand-in server wrote down of paid sessions; it outlives its process, unless it is made to lose it.
-use crankpaddle_upstream::book::{Book, Held, Ran};
-use crankpaddle_upstream::sessions::Order;
+use crankpaddle_server_protocol::session_inventory::{
+    CompletedSession, InventorySession, SessionInventory,
+};
+use crankpaddle_server_protocol::sessions::SetUpBody;
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Debug)]
 pub(crate) struct Ledger {
     boots: Vec<String>,
-    ran: BTreeMap<String, Vec<Ran>>, // By front.
-    names: BTreeSet<String>,         // Of all that ran, to judge by; no server needs them.
+    ran: BTreeMap<String, Vec<CompletedSession>>, // By front.
+    names: BTreeSet<String>, // Of all that ran, to judge by; no server needs them.
 }
 
 impl Ledger {
@@ -33,9 +35,9 @@
         self.names.contains(name)
     }
 
-    pub(crate) fn ran(&mut self, name: &str, order: &Order) {
+    pub(crate) fn ran(&mut self, name: &str, order: &SetUpBody) {
         self.names.insert(name.to_owned());
-        let ran = Ran {
+        let ran = CompletedSession {
             bill: order.bill.clone(),
             tenant: order.tenant.clone(),
         };
@@ -46,10 +48,10 @@
         &self,
         front: &str,
         age_ms: u64,
-        held: Vec<Held>,
+        held: Vec<InventorySession>,
         under_way: Vec<String>,
-    ) -> Book {
-        Book {
+    ) -> SessionInventory {
+        SessionInventory {
             boots: self.boots.clone(),
             age_ms,
             held,
--- a/crates/lab/src/mesh.rs
+++ b/crates/testbed/src/udp_proxy.rs
@@ -5,7 +5,7 @@
 //! socket that stands for the sender in the other's book. Where a front itself is reached is learned from what it sends and says.
 //!
 //! It runs on a thread of its own, so that what it adds to a datagram's time is its wait in epoll and nothing of the stand-ins'.
-use crankpaddle_fleet_net::Weather;
+use crankpaddle_fault_simulation::Weather;
 use crankpaddle_net::clock;
 use rustix::event::epoll::{self, CreateFlags, EventData, EventFlags};
 use rustix::event::Timespec;
--- a/crates/lab/tests/breaches.rs
+++ b/crates/testbed/tests/breaches.rs
@@ -1,6 +1,6 @@
 //! The judge is judged: for each rule a recorded breach that it must find, and beside it the like that is none.
-use crankpaddle_lab::judge::{judge, ClassRule, Rules, Verdict};
-use crankpaddle_lab::record::{Record, Reply, Seen, Told};
+use crankpaddle_testbed::invariant_checker::{judge, ClassRule, Rules, Verdict};
+use crankpaddle_testbed::record::{Record, Reply, Seen, Told};
 
 const MS: u64 = 1_000_000;
 const SECOND: u64 = 1000 * MS;
--- a/crates/traffic-report/src/plot.rs
+++ b/crates/traffic-report/src/plot.rs
@@ -1,5 +1,5 @@
 //! A report as a picture: what crossed in late minutes, by class, beside the budgets.
-use crankpaddle_traffic::report::Report;
+use crankpaddle_cross_zone_traffic::report::TrafficReport;
 use plotters::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -10,7 +10,7 @@
 ///
 /// # Errors
 /// Nothing crossed in late minutes, or the picture could not be drawn.
-pub fn svg(report: &Report) -> Result<String, String> {
+pub fn svg(report: &TrafficReport) -> Result<String, String> {
     let mut lines: BTreeMap<String, BTreeMap<u64, f64>> = BTreeMap::new();
     let mut minutes = BTreeSet::new();
     for f in report.flows.iter().filter(|f| f.crosses) {
@@ -94,13 +94,13 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crankpaddle_traffic::report::{Bytes, FlowReport};
+    use crankpaddle_cross_zone_traffic::report::{ByteTotals, FlowReport};
 
     #[test]
     fn a_plot_names_its_lines_and_nothing_to_draw_is_said() {
-        assert!(svg(&Report::default()).is_err());
+        assert!(svg(&TrafficReport::default()).is_err());
         let minutes = (0..5)
-            .map(|n| Bytes {
+            .map(|n| ByteTotals {
                 at_ms: n * MINUTE_MS,
                 bytes: 6_000_000 * n,
             })
@@ -114,9 +114,9 @@
             minutes,
             ..FlowReport::default()
         };
-        let text = svg(&Report {
+        let text = svg(&TrafficReport {
             flows: vec![flow],
-            ..Report::default()
+            ..TrafficReport::default()
         })
         .unwrap();
         assert!(
--- a/crates/traffic-report/src/source.rs
+++ b/crates/traffic-report/src/source.rs
@@ -1,7 +1,7 @@
 //! Where reports come from: a front's `GET /traffic`, or the file in which it keeps its account.
+use crankpaddle_cross_zone_traffic::report::TrafficReport;
 use crankpaddle_http::body::Body;
 use crankpaddle_http::head::{self, Response};
-use crankpaddle_traffic::report::Report;
 use std::fmt;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -37,7 +37,7 @@
     }
 }
 
-fn report(bytes: &[u8]) -> Result<Report, SourceError> {
+fn report(bytes: &[u8]) -> Result<TrafficReport, SourceError> {
     serde_json::from_slice(bytes)
         .map_err(|e| SourceError::Other(format!("is no report of traffic: {e}")))
 }
@@ -46,7 +46,7 @@
 ///
 /// # Errors
 /// It does not answer within the time, or not with a report.
-pub fn fetch(front: &SocketAddr, within: Duration) -> Result<Report, SourceError> {
+pub fn fetch(front: &SocketAddr, within: Duration) -> Result<TrafficReport, SourceError> {
     report(&get(front, "/traffic", within)?)
 }
 
@@ -88,7 +88,7 @@
 ///
 /// # Errors
 /// The file can't be read or holds no report.
-pub fn load(path: &Path) -> Result<Report, SourceError> {
+pub fn load(path: &Path) -> Result<TrafficReport, SourceError> {
     report(&std::fs::read(path)?)
 }
 
--- a/crates/traffic-report/src/text.rs
+++ b/crates/traffic-report/src/text.rs
@@ -1,5 +1,5 @@
 //! Reports as text: tables to read, CSV to reckon with.
-use crankpaddle_traffic::report::{BudgetReport, FlowReport, Report};
+use crankpaddle_cross_zone_traffic::report::{BudgetReport, FlowReport, TrafficReport};
 
 /// Bytes as a person reads them.
 fn bytes(n: u64) -> String {
@@ -41,7 +41,7 @@
 }
 
 /// Flows, budgets and what must be known of them, to be read.
-pub fn table(report: &Report) -> String {
+pub fn table(report: &TrafficReport) -> String {
     let flow = |f: &FlowReport| {
         let known =
             f.measured_bytes.saturating_sub(f.overstated_bytes) as f64 / f.bytes.max(1) as f64;
@@ -124,7 +124,7 @@
 }
 
 /// One line for each budget, as it stands now.
-pub fn watch_line(report: &Report) -> String {
+pub fn watch_line(report: &TrafficReport) -> String {
     let line = |b: &BudgetReport| {
         let class = if b.class.is_empty() {
             String::new()
@@ -165,7 +165,7 @@
 }
 
 /// Bytes of each flow by hour, and in all (without an hour), as RFC 4180 has CSV.
-pub fn csv(report: &Report) -> String {
+pub fn csv(report: &TrafficReport) -> String {
     let mut lines = vec![
         "from,to,class,tenant,group,purpose,crosses,hour_ms,bytes,measured_bytes,\
                           corrected_bytes,estimated_bytes,overstated_bytes"
@@ -183,7 +183,7 @@
         ];
         let kinds = kinds.map(|n| n.to_string()).join(",");
         lines.push(format!("{names},{},,{},{kinds}", f.crosses, f.bytes));
-        let hour = |h: &crankpaddle_traffic::report::Bytes| {
+        let hour = |h: &crankpaddle_cross_zone_traffic::report::ByteTotals| {
             format!("{names},{},{},{},,,,", f.crosses, h.at_ms, h.bytes)
         };
         lines.extend(f.hours.iter().map(hour));
@@ -194,9 +194,9 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crankpaddle_traffic::report::Bytes;
+    use crankpaddle_cross_zone_traffic::report::ByteTotals;
 
-    fn report() -> Report {
+    fn report() -> TrafficReport {
         let flow = FlowReport {
             from: "south".into(),
             to: "north".into(),
@@ -205,7 +205,7 @@
             crosses: true,
             bytes: 1_234_567,
             measured_bytes: 1_234_567,
-            hours: vec![Bytes {
+            hours: vec![ByteTotals {
                 at_ms: 3_600_000,
                 bytes: 1_234_567,
             }],
@@ -225,10 +225,10 @@
             written_off_bytes: 0,
             lowered_sessions: 2,
         };
-        Report {
+        TrafficReport {
             flows: vec![flow],
             budgets: vec![budget],
-            ..Report::default()
+            ..TrafficReport::default()
         }
     }
 
