Upstream: tests that pin the bytes exchanged with servers and the list service

Cause: a large renaming is ahead, and field names reach the wire through serde. Change: exact requests, and exact text round trips of each body and event.

--- /dev/null
+++ b/crates/upstream/tests/wire.rs
@@ -0,0 +1,168 @@
+//! The exact bytes that go to media servers and to the list service, and the exact texts that come back from them.
+use crankpaddle_front::RosterKind;
+use crankpaddle_http::head::Response;
+use crankpaddle_upstream::{book, list, notes, sessions};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+/// Reads a text as a type and gives what that type is written as.
+fn rewritten<T: Serialize + DeserializeOwned>(text: &str) -> String {
+    let value: T = serde_json::from_str(text).unwrap();
+    serde_json::to_string(&value).unwrap()
+}
+
+/// Texts that must come out of a round trip as they went in.
+fn assert_round_trips<T: Serialize + DeserializeOwned>(texts: &[&str]) {
+    for text in texts {
+        assert_eq!(rewritten::<T>(text), *text);
+    }
+}
+
+fn text(bytes: Vec<u8>) -> String {
+    String::from_utf8(bytes).unwrap()
+}
+
+const SET_UP: &str = r#"{"front":"f1","bill":"b1","title":"clip","class":"preview","tenant":"main","rung":2,"zone":"north"}"#;
+
+#[test]
+fn set_up_request_is_a_put_with_the_whole_order() {
+    let order = serde_json::from_str(SET_UP).unwrap();
+    let request = text(sessions::set_up("10.0.0.1:80", "s-1", &order));
+    let (head, body) = request.split_once("\r\n\r\n").unwrap();
+    assert_eq!(body, SET_UP);
+    assert_eq!(head, format!("PUT /sessions/s-1 HTTP/1.1\r\nhost: 10.0.0.1:80\r\ncontent-type: application/json\r\ncontent-length: {}", body.len()));
+}
+
+#[test]
+fn set_up_body_leaves_out_an_empty_tenant_and_zone() {
+    assert_round_trips::<sessions::Order>(&[
+        SET_UP,
+        r#"{"front":"f1","bill":"b1","title":"clip","class":"preview","rung":0}"#,
+    ]);
+}
+
+#[test]
+fn rung_request_is_a_patch_with_the_rung() {
+    assert_eq!(
+        text(sessions::set_rung("h", "s-1", 3)),
+        "PATCH /sessions/s-1 HTTP/1.1\r\nhost: h\r\ncontent-type: application/json\r\ncontent-length: 10\r\n\r\n{\"rung\":3}"
+    );
+    assert_round_trips::<sessions::Rung>(&[r#"{"rung":3}"#]);
+}
+
+#[test]
+fn teardown_is_a_delete_and_its_answer_counts_bytes() {
+    assert_eq!(
+        text(sessions::tear_down("h", "s-1")),
+        "DELETE /sessions/s-1 HTTP/1.1\r\nhost: h\r\n\r\n"
+    );
+    assert_round_trips::<sessions::Ended>(&[r#"{"sent_bytes":12345}"#]);
+    let answer = |head: &str| {
+        let (response, _) = Response::parse(head.as_bytes()).unwrap().unwrap();
+        sessions::tear_down_answer(&response, br#"{"sent_bytes":7}"#).map(|e| e.sent_bytes)
+    };
+    assert_eq!(answer("HTTP/1.1 200 OK\r\n\r\n"), Some(7));
+    assert_eq!(answer("HTTP/1.1 404 Not Found\r\n\r\n"), None);
+}
+
+#[test]
+fn names_at_servers_are_digests_that_stay_as_they_are() {
+    assert_eq!(sessions::media_path("s-1"), "/sessions/s-1/media");
+    assert_eq!(sessions::FULL, "urn:crankpaddle:problem:full");
+    assert_eq!(
+        sessions::bill("key-0001"),
+        "1c1994d97561115e8778171182abce03"
+    );
+    assert_eq!(
+        sessions::front_name(&[7; 16], "a"),
+        "fb828ee5821fe12b0c55e8a3f7a4dd314"
+    );
+}
+
+#[test]
+fn inventory_is_asked_for_by_front_and_read_with_all_its_fields() {
+    assert_eq!(
+        text(book::ask("h", "f1")),
+        "GET /sessions?front=f1 HTTP/1.1\r\nhost: h\r\naccept: application/json\r\n\r\n"
+    );
+    assert_round_trips::<book::Book>(&[
+        r#"{"boots":["3","4"],"age_ms":1500,"held":[{"session":"s-1","bill":"b1","tenant":"main","class":"preview","title":"clip","rung":1},{"session":"s-2","bill":"b2","class":"preview","title":"clip","rung":0}],"under_way":["s-3"],"ran":[{"bill":"b1","tenant":"main"},{"bill":"b2"}]}"#,
+    ]);
+    assert_eq!(
+        rewritten::<book::Book>(r#"{"boots":["4"],"age_ms":1}"#),
+        r#"{"boots":["4"],"age_ms":1,"held":[],"under_way":[],"ran":[]}"#
+    );
+}
+
+#[test]
+fn event_streams_are_subscribed_to_by_front() {
+    let wanted = |path: &str| {
+        format!("GET {path}?front=f1 HTTP/1.1\r\nhost: h\r\naccept: text/event-stream\r\nconnection: close\r\n\r\n")
+    };
+    assert_eq!(text(notes::subscribe("h", "f1")), wanted("/events"));
+    assert_eq!(text(list::subscribe("h", "f1")), wanted("/servers/events"));
+}
+
+#[test]
+fn events_of_a_server_keep_their_fields() {
+    assert_round_trips::<notes::Hello>(&[
+        r#"{"boot":"4","sessions":["s-1","s-2"],"age_ms":1500}"#,
+        r#"{"boot":"4","sessions":[]}"#,
+    ]);
+    assert_round_trips::<notes::Told>(&[
+        r#"{"session":"s-1","delivered":0.5,"link":1.25,"uplink":0.75,"rung":2}"#,
+        r#"{"session":"s-1"}"#,
+    ]);
+    assert_round_trips::<notes::Over>(&[
+        r#"{"session":"s-1","finished":true,"sent_bytes":99}"#,
+        r#"{"session":"s-1","finished":false}"#,
+    ]);
+    assert_round_trips::<notes::Traffic>(&[
+        r#"{"sent":[["s-1",99],["s-2",0]],"crossing":[{"to":"south","class":"preview","rate":1500.5}]}"#,
+    ]);
+    assert_eq!(
+        rewritten::<notes::Traffic>("{}"),
+        r#"{"sent":[],"crossing":[]}"#
+    );
+}
+
+#[test]
+fn events_of_a_server_are_known_by_name() {
+    let data = |name: &str| match name {
+        "hello" => r#"{"boot":"4","sessions":[]}"#,
+        "over" => r#"{"session":"s-1","finished":true}"#,
+        _ => r#"{"session":"s-1"}"#,
+    };
+    for (name, known) in [
+        ("hello", true),
+        ("note", true),
+        ("over", true),
+        ("traffic", true),
+        ("else", false),
+    ] {
+        let event = crankpaddle_http::sse::Event {
+            name: name.into(),
+            data: data(name).into(),
+            ..Default::default()
+        };
+        assert_eq!(notes::read(&event).unwrap().is_some(), known, "{name}");
+    }
+    let over: serde_json::Value = serde_json::from_str(data("over")).unwrap();
+    assert_eq!(
+        text(notes::write("over", &over)),
+        "event: over\ndata: {\"finished\":true,\"session\":\"s-1\"}\n\n"
+    );
+}
+
+const LIST: &str = r#"{"serial":9,"servers":[{"id":4,"zone":"north","kind":"std","cell":1,"state":"ready","weight":1.5,"started_ms":5,"address":"127.0.0.1:1"},{"id":5,"zone":"north","kind":"std","cell":1,"state":"draining","weight":1.0,"started_ms":0,"address":"127.0.0.1:2"},{"id":6,"zone":"north","kind":"std","cell":1,"state":"gone","weight":1.0,"started_ms":0,"address":"127.0.0.1:3"}]}"#;
+
+#[test]
+fn server_list_is_sent_and_kept_with_the_same_fields() {
+    assert_round_trips::<list::List>(&[LIST]);
+    let servers = serde_json::from_str(LIST).unwrap();
+    for (kind, name) in [(RosterKind::Full, "full"), (RosterKind::Delta, "delta")] {
+        let event = text(list::write(kind, &servers));
+        assert_eq!(event, format!("event: {name}\nid: 9\ndata: {LIST}\n\n"));
+    }
+    assert_eq!(list::Held::from_text(LIST).unwrap().text(), LIST);
+}
