Daemon: tests that pin the JSON texts given over HTTP and to players

Cause: a large renaming is ahead, and field names reach the wire through serde; so far only schemas were held against it. Change: the bodies of /health, /traffic, /members and /fleet and the texts of players as exact text, numbers masked where runs differ.

--- /dev/null
+++ b/crates/daemon/tests/http_texts.rs
@@ -0,0 +1,187 @@
+//! The exact JSON texts that a front gives over HTTP: names and order of fields, types and fixed values.
+mod rig;
+mod texts;
+use crankpaddle_daemon::Daemon;
+use rig::{wait, Rig, FREE, LONG, PAID};
+use serde_json::{json, Value};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use texts::{masked, parsed, Texts, V1};
+
+fn body(address: SocketAddr, path: &str) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(LONG)).unwrap();
+    write!(
+        stream,
+        "GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+    )
+    .unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer.split_once("\r\n\r\n").unwrap().1.to_owned()
+}
+
+/// Asks again until the body is as wanted.
+fn body_until(address: SocketAddr, path: &str, wanted: impl Fn(&Value) -> bool) -> String {
+    let mut last = String::new();
+    wait(path, || {
+        last = body(address, path);
+        wanted(&parsed(&last))
+    });
+    last
+}
+
+/// Fetches media until some of it has come; the connection stays open as long as what is given.
+fn fetch_some(media: &str) -> TcpStream {
+    let (server, path) = media.trim_start_matches("http://").split_once('/').unwrap();
+    let mut stream = TcpStream::connect(server).unwrap();
+    write!(stream, "GET /{path} HTTP/1.1\r\nhost: a\r\n\r\n").unwrap();
+    stream.read_exact(&mut [0u8; 2000]).unwrap(); // More than a head is media.
+    stream
+}
+
+#[test]
+fn health_has_the_same_text_while_ready_and_while_draining() {
+    let rig = Rig::new(&[]);
+    let address = rig.daemon.address();
+    let mut player = Texts::connect(address, V1);
+    player.open(1, "health-0001", FREE);
+    let ready = r#"{"state":"ready","waiting":0,"playing":1,"connections":2}"#;
+    wait("the two connections", || body(address, "/health") == ready);
+    rig.modes(|mode| mode.hangs = true);
+    player.call_open(2, "health-0002", PAID);
+    wait("its attempt to be out", || rig.of_key("health-0002").0 == 1);
+    rig.daemon.drain();
+    let draining = body_until(address, "/health", |h| h["state"] == "draining");
+    assert_eq!(
+        masked(&draining),
+        masked(&ready.replace("ready", "draining"))
+    );
+    assert_eq!(
+        masked(&player.open(3, "health-0003", FREE)),
+        r##"{"error":{"code":#,"data":{"reason":"stopping","retry_after_ms":#},"message":"refused"},"id":#,"jsonrpc":"2.0"}"##
+    );
+}
+
+#[test]
+fn paths_without_their_settings_are_problems() {
+    let rig = Rig::new(&[]);
+    let address = rig.daemon.address();
+    assert_eq!(
+        body(address, "/members"),
+        r#"{"type":"about:blank","title":"Not Found","status":404,"detail":"this front has no peers in its configuration"}"#
+    );
+    assert_eq!(
+        body(address, "/fleet"),
+        r#"{"type":"about:blank","title":"Not Found","status":404,"detail":"this front has no store in its configuration"}"#
+    );
+    assert_eq!(
+        body(address, "/nothing"),
+        r#"{"type":"about:blank","title":"Not Found","status":404,"detail":"nothing at /nothing; known: /api, /fleet, /health, /members, /session, /traffic"}"#
+    );
+}
+
+#[test]
+fn traffic_names_flows_and_budgets() {
+    let changes = [
+        ("title { name: \"clip-00\"", "title { group: \"sport\" name: \"clip-00\""),
+        (
+            "log {",
+            "tenant { name: \"main\" quota: 100000 }\n\
+             budget { from: \"south\" to: \"north\" rate: \"1kB/s\" burst: \"1B\" repay: \"1s\" }\nlog {",
+        ),
+    ];
+    let rig = Rig::with_tenant(&changes, "main");
+    let address = rig.daemon.address();
+    let mut player = Texts::connect(address, V1);
+    let open = r#"{"jsonrpc":"2.0","id":1,"method":"session.open","params":{"key":"traffic-0001","class":"licensed-view","title":"clip-00","tenant":"main"}}"#;
+    let opened = parsed(&player.ask(open));
+    let _media = fetch_some(opened["result"]["media"].as_str().unwrap());
+    let traffic = body_until(address, "/traffic", |t| {
+        t["flows"][0]["hours"][0].is_object()
+    });
+    // Its server lies in either hall.
+    let from = parsed(&traffic)["flows"][0]["from"].clone();
+    let crosses = from != "north";
+    let wanted = r##"{"front":#,"at_ms":#,"flows":[{"from":FROM,"to":"north","class":"licensed-view","tenant":"main","group":"sport","purpose":"playing","crosses":CROSSES,"bytes":#,"measured_bytes":#,"corrected_bytes":#,"estimated_bytes":#,"overstated_bytes":#,"minutes":[{"at_ms":#,"bytes":#}],"hours":[{"at_ms":#,"bytes":#}]}],"budgets":[{"from":"south","to":"north","rate_kb":#.#,"part":#.#,"level":#.#,"paid_kb":#.#,"other_kb":#.#,"overdraft_hall_lost_bytes":#,"overdraft_hall_full_bytes":#,"written_off_bytes":#,"lowered_sessions":#}],"unsettled_sessions":#,"too_late":#}"##;
+    let wanted = wanted
+        .replace("FROM", &from.to_string())
+        .replace("CROSSES", &crosses.to_string());
+    assert_eq!(masked(&traffic), wanted);
+    let budget = &parsed(&traffic)["budgets"][0];
+    assert_eq!(
+        (&budget["rate_kb"], &budget["part"]),
+        (&json!(1.0), &json!(1.0))
+    );
+}
+
+fn peers(name: &str, seed: &str, key: &std::path::Path) -> String {
+    format!(
+        "peers {{ name: \"{name}\" listen: \"127.0.0.1:0\" {seed} key_file: {key:?} probe_every: \"500ms\" }}\nlog {{"
+    )
+}
+
+#[test]
+fn members_name_themselves_and_each_peer() {
+    let dir = tempfile::tempdir().unwrap();
+    let key = dir.path().join("key");
+    std::fs::write(&key, "00112233445566778899aabbccddeeff").unwrap();
+    let rig = Rig::new(&[("log {", &peers("a", "", &key))]);
+    let address = rig.daemon.address();
+    let alone = body(address, "/members");
+    let own = parsed(&alone)["address"].clone();
+    let counted = r##""counted":{"accused":#,"bytes_sent":#,"dropped_garbage":#,"dropped_old_life":#,"dropped_other_fleet":#,"dropped_other_version":#,"dropped_stray":#,"forged":#,"name_conflicts":#,"not_answered_flood":#,"not_sent_budget":#}"##;
+    assert_eq!(
+        masked(&alone),
+        format!(
+            r##"{{"name":"a","address":{own},"standing":"alone","members":[],"sent":#,"heard":#,"dropped":#,{counted},"turns":[]}}"##
+        )
+    );
+    let other = rig::text(&[("log {", &peers("b", &format!("seed: {own}"), &key))]);
+    let other = rig::front(&other, &rig.list.address, "");
+    let other = Daemon::start(crankpaddle_config::parse(&other).unwrap()).unwrap();
+    for (front, name, peer) in [(address, "a", "b"), (other.address(), "b", "a")] {
+        let members = body_until(front, "/members", |m| {
+            m["standing"] == "connected" && m["members"][0]["rtt_us"].is_u64()
+        });
+        let value = parsed(&members);
+        let (own, far) = (&value["address"], &value["members"][0]["address"]);
+        assert_eq!(
+            masked(&members),
+            format!(
+                r##"{{"name":"{name}","address":{own},"standing":"connected","members":[{{"name":"{peer}","address":{far},"state":"alive","since_ms":#,"by":"{peer}","rtt_us":#}}],"sent":#,"heard":#,"dropped":#,{counted},"turns":[{{"number":#,"ago_ms":#,"name":"{peer}","state":"alive","by":"{peer}","restarted":false}}]}}"##
+            )
+        );
+    }
+}
+
+#[test]
+fn fleet_tells_the_steps_of_a_first_start() {
+    let dir = tempfile::tempdir().unwrap();
+    let (key, boot) = (dir.path().join("key"), dir.path().join("boot"));
+    std::fs::write(&key, "00112233445566778899aabbccddeeff").unwrap();
+    std::fs::write(&boot, "first").unwrap();
+    let folder = dir.path().join("store");
+    let store = format!("store {{ name: \"s\" dir: {folder:?} key_file: {key:?} boot_file: {boot:?} settle: \"20s\" calm: \"1ms\" }}\nlog {{");
+    let rig = Rig::new(&[("log {", &store)]);
+    let fleet = body_until(rig.daemon.address(), "/fleet", |f| {
+        f["stage"] == "all" && f["store"] == "written"
+    });
+    assert_eq!(
+        masked(&fleet),
+        r##"{"name":"s","epoch":#,"former":"unknown","stage":"all","steps":[{"stage":"dark","why":"started","ago_ms":#},{"stage":"reading","why":"disk_there","ago_ms":#},{"stage":"settling","why":"read","ago_ms":#},{"stage":"paid","why":"servers_told","ago_ms":#},{"stage":"all","why":"paid_served","ago_ms":#}],"held":#,"unsettled":#,"servers_told":#,"servers_out_of_reach":#,"servers_asked":#,"kept":#,"reckoned_fronts":#,"store":"written"}"##
+    );
+    let fleet = parsed(&fleet);
+    let counts = [
+        "epoch",
+        "held",
+        "unsettled",
+        "servers_told",
+        "kept",
+        "reckoned_fronts",
+    ];
+    assert_eq!(
+        counts.map(|name| fleet[name].as_u64().unwrap()),
+        [1, 0, 0, 12, 0, 1]
+    );
+}
--- /dev/null
+++ b/crates/daemon/tests/texts/mod.rs
@@ -0,0 +1,87 @@
+//! A player that sees texts as they are, and texts with their numbers masked.
+use crate::rig::LONG;
+use serde_json::{json, Value};
+use std::net::{SocketAddr, TcpStream};
+use tungstenite::client::IntoClientRequest;
+use tungstenite::{Message, WebSocket};
+
+pub(crate) const V1: &str = "session.v1.jsonrpc";
+
+/// A text with `#` for each whole number and `#.#` for each other one, so that what is left is the same in all runs: key paths, their
+/// order, the type of each value, and all words. Digits inside of strings stay.
+pub(crate) fn masked(text: &str) -> String {
+    let mut masked = String::new();
+    for (at, piece) in text.split('"').enumerate() {
+        let inside_string = at % 2 == 1;
+        if at > 0 {
+            masked.push('"');
+        }
+        let numbers = |c: char| c.is_ascii_digit() || "+-.".contains(c);
+        let mut rest = piece;
+        while let (false, Some(start)) = (inside_string, rest.find(numbers)) {
+            let tail = &rest[start..];
+            let end = tail.find([',', ']', '}']).unwrap_or(tail.len());
+            masked.push_str(&rest[..start]);
+            let whole = tail[..end].parse::<i64>().is_ok();
+            masked.push_str(if whole { "#" } else { "#.#" });
+            rest = &tail[end..];
+        }
+        masked.push_str(rest);
+    }
+    masked
+}
+
+pub(crate) fn parsed(text: &str) -> Value {
+    serde_json::from_str(text).unwrap()
+}
+
+/// A player that sends and reads texts as they are.
+pub(crate) struct Texts(pub WebSocket<TcpStream>);
+
+impl Texts {
+    pub(crate) fn connect(address: SocketAddr, version: &str) -> Texts {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        let mut request = format!("ws://{address}/session")
+            .into_client_request()
+            .unwrap();
+        request
+            .headers_mut()
+            .insert("sec-websocket-protocol", version.parse().unwrap());
+        Texts(tungstenite::client::client(request, stream).unwrap().0)
+    }
+
+    pub(crate) fn read(&mut self) -> String {
+        loop {
+            if let Message::Text(text) = self.0.read().unwrap() {
+                return text.to_string();
+            }
+        }
+    }
+
+    /// Reads until a text holds a word.
+    pub(crate) fn read_until(&mut self, word: &str) -> String {
+        loop {
+            let text = self.read();
+            if text.contains(word) {
+                return text;
+            }
+        }
+    }
+
+    pub(crate) fn ask(&mut self, text: &str) -> String {
+        self.0.send(Message::text(text)).unwrap();
+        self.read()
+    }
+
+    pub(crate) fn call_open(&mut self, id: u64, key: &str, class: &str) {
+        let call = json!({"jsonrpc": "2.0", "id": id, "method": "session.open",
+            "params": {"key": key, "class": class, "title": "clip-00"}});
+        self.0.send(Message::text(call.to_string())).unwrap();
+    }
+
+    pub(crate) fn open(&mut self, id: u64, key: &str, class: &str) -> String {
+        self.call_open(id, key, class);
+        self.read_until(&format!("\"id\":{id},"))
+    }
+}
