Server protocol: the pinned texts follow the package's new name

Cause: the tests that pin the wire were written beside the renaming. Change: the file moves with its package and uses the new type names; no literal changed. Measured: cargo check of the package's tests.

--- a/crates/upstream/tests/wire.rs
+++ b/crates/server-protocol/tests/wire.rs
@@ -1,7 +1,7 @@
 //! The exact bytes that go to media servers and to the list service, and the exact texts that come back from them.
-use crankpaddle_front::RosterKind;
+use crankpaddle_front::EndpointListKind;
 use crankpaddle_http::head::Response;
-use crankpaddle_upstream::{book, list, notes, sessions};
+use crankpaddle_server_protocol::{event_stream, list, session_inventory, sessions};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
@@ -35,7 +35,7 @@
 
 #[test]
 fn set_up_body_leaves_out_an_empty_tenant_and_zone() {
-    assert_round_trips::<sessions::Order>(&[
+    assert_round_trips::<sessions::SetUpBody>(&[
         SET_UP,
         r#"{"front":"f1","bill":"b1","title":"clip","class":"preview","rung":0}"#,
     ]);
@@ -47,7 +47,7 @@
         text(sessions::set_rung("h", "s-1", 3)),
         "PATCH /sessions/s-1 HTTP/1.1\r\nhost: h\r\ncontent-type: application/json\r\ncontent-length: 10\r\n\r\n{\"rung\":3}"
     );
-    assert_round_trips::<sessions::Rung>(&[r#"{"rung":3}"#]);
+    assert_round_trips::<sessions::RungBody>(&[r#"{"rung":3}"#]);
 }
 
 #[test]
@@ -56,7 +56,7 @@
         text(sessions::tear_down("h", "s-1")),
         "DELETE /sessions/s-1 HTTP/1.1\r\nhost: h\r\n\r\n"
     );
-    assert_round_trips::<sessions::Ended>(&[r#"{"sent_bytes":12345}"#]);
+    assert_round_trips::<sessions::TearDownResult>(&[r#"{"sent_bytes":12345}"#]);
     let answer = |head: &str| {
         let (response, _) = Response::parse(head.as_bytes()).unwrap().unwrap();
         sessions::tear_down_answer(&response, br#"{"sent_bytes":7}"#).map(|e| e.sent_bytes)
@@ -82,14 +82,14 @@
 #[test]
 fn inventory_is_asked_for_by_front_and_read_with_all_its_fields() {
     assert_eq!(
-        text(book::ask("h", "f1")),
+        text(session_inventory::request("h", "f1")),
         "GET /sessions?front=f1 HTTP/1.1\r\nhost: h\r\naccept: application/json\r\n\r\n"
     );
-    assert_round_trips::<book::Book>(&[
+    assert_round_trips::<session_inventory::SessionInventory>(&[
         r#"{"boots":["3","4"],"age_ms":1500,"held":[{"session":"s-1","bill":"b1","tenant":"main","class":"preview","title":"clip","rung":1},{"session":"s-2","bill":"b2","class":"preview","title":"clip","rung":0}],"under_way":["s-3"],"ran":[{"bill":"b1","tenant":"main"},{"bill":"b2"}]}"#,
     ]);
     assert_eq!(
-        rewritten::<book::Book>(r#"{"boots":["4"],"age_ms":1}"#),
+        rewritten::<session_inventory::SessionInventory>(r#"{"boots":["4"],"age_ms":1}"#),
         r#"{"boots":["4"],"age_ms":1,"held":[],"under_way":[],"ran":[]}"#
     );
 }
@@ -99,29 +99,29 @@
     let wanted = |path: &str| {
         format!("GET {path}?front=f1 HTTP/1.1\r\nhost: h\r\naccept: text/event-stream\r\nconnection: close\r\n\r\n")
     };
-    assert_eq!(text(notes::subscribe("h", "f1")), wanted("/events"));
+    assert_eq!(text(event_stream::subscribe("h", "f1")), wanted("/events"));
     assert_eq!(text(list::subscribe("h", "f1")), wanted("/servers/events"));
 }
 
 #[test]
 fn events_of_a_server_keep_their_fields() {
-    assert_round_trips::<notes::Hello>(&[
+    assert_round_trips::<event_stream::StreamStart>(&[
         r#"{"boot":"4","sessions":["s-1","s-2"],"age_ms":1500}"#,
         r#"{"boot":"4","sessions":[]}"#,
     ]);
-    assert_round_trips::<notes::Told>(&[
+    assert_round_trips::<event_stream::SessionUpdateMessage>(&[
         r#"{"session":"s-1","delivered":0.5,"link":1.25,"uplink":0.75,"rung":2}"#,
         r#"{"session":"s-1"}"#,
     ]);
-    assert_round_trips::<notes::Over>(&[
+    assert_round_trips::<event_stream::SessionOver>(&[
         r#"{"session":"s-1","finished":true,"sent_bytes":99}"#,
         r#"{"session":"s-1","finished":false}"#,
     ]);
-    assert_round_trips::<notes::Traffic>(&[
+    assert_round_trips::<event_stream::TrafficCounts>(&[
         r#"{"sent":[["s-1",99],["s-2",0]],"crossing":[{"to":"south","class":"preview","rate":1500.5}]}"#,
     ]);
     assert_eq!(
-        rewritten::<notes::Traffic>("{}"),
+        rewritten::<event_stream::TrafficCounts>("{}"),
         r#"{"sent":[],"crossing":[]}"#
     );
 }
@@ -145,11 +145,15 @@
             data: data(name).into(),
             ..Default::default()
         };
-        assert_eq!(notes::read(&event).unwrap().is_some(), known, "{name}");
+        assert_eq!(
+            event_stream::read(&event).unwrap().is_some(),
+            known,
+            "{name}"
+        );
     }
     let over: serde_json::Value = serde_json::from_str(data("over")).unwrap();
     assert_eq!(
-        text(notes::write("over", &over)),
+        text(event_stream::write("over", &over)),
         "event: over\ndata: {\"finished\":true,\"session\":\"s-1\"}\n\n"
     );
 }
@@ -158,11 +162,14 @@
 
 #[test]
 fn server_list_is_sent_and_kept_with_the_same_fields() {
-    assert_round_trips::<list::List>(&[LIST]);
+    assert_round_trips::<list::EndpointListBody>(&[LIST]);
     let servers = serde_json::from_str(LIST).unwrap();
-    for (kind, name) in [(RosterKind::Full, "full"), (RosterKind::Delta, "delta")] {
+    for (kind, name) in [
+        (EndpointListKind::Full, "full"),
+        (EndpointListKind::Delta, "delta"),
+    ] {
         let event = text(list::write(kind, &servers));
         assert_eq!(event, format!("event: {name}\nid: 9\ndata: {LIST}\n\n"));
     }
-    assert_eq!(list::Held::from_text(LIST).unwrap().text(), LIST);
+    assert_eq!(list::CachedEndpoints::from_text(LIST).unwrap().text(), LIST);
 }
