Net: a doc link follows the renamed method

Cause: cargo doc named a link to a private item after the renaming. Change: the link names Socket::close. Measured: cargo doc -D warnings passes.

--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -178,7 +178,7 @@
         self.close();
     }
 
-    /// Whether [`Socket::shut`] was called.
+    /// Whether [`Socket::close`] was called.
     pub fn is_closed(&self) -> bool {
         self.shut.load(Ordering::Acquire)
     }
