--- a/crates/benchmark/src/account.rs
+++ b/crates/benchmark/src/account.rs
@@ -29,7 +29,7 @@
     pub rounds: usize,
 }
 
-fn desk() -> TrafficController {
+fn controller() -> TrafficController {
     let shared = SharedBudget {
         rate_kb: 1e9,
         burst: 1e12,
@@ -37,7 +37,7 @@
         period: 0,
         repay: 60 * SECOND,
     };
-    let mut desk = TrafficController::new(TrafficConfig {
+    let mut controller = TrafficController::new(TrafficConfig {
         place: FrontPosition {
             index: 0,
             siblings: 1,
@@ -60,8 +60,8 @@
         }],
         note_delay: SECOND / 2,
     });
-    (0..SERVERS).for_each(|server| desk.endpoint_listed(server, (server % 2) as u8, true));
-    desk
+    (0..SERVERS).for_each(|server| controller.endpoint_listed(server, (server % 2) as u8, true));
+    controller
 }
 
 fn attempt(id: u64) -> AttemptUsage {
@@ -150,13 +150,13 @@
     let mut memory = 0.0;
     for n in 0..plan.rounds as u64 {
         let none = play(plan, None, 0)?;
-        let held = resident(std::process::id())?;
-        let mut desk = desk();
-        let with = play(plan, Some(&mut desk), 0)?;
+        let resident_bytes = resident(std::process::id())?;
+        let mut controller = controller();
+        let with = play(plan, Some(&mut controller), 0)?;
         if n == 0 {
             // The first time, before the allocator has pages of an earlier round to hand.
-            memory =
-                resident(std::process::id())?.saturating_sub(held) as f64 / plan.sessions as f64;
+            memory = resident(std::process::id())?.saturating_sub(resident_bytes) as f64
+                / plan.sessions as f64;
         }
         figures.push((none.cpu, with.cpu, with));
     }
--- a/crates/benchmark/src/bench.rs
+++ b/crates/benchmark/src/bench.rs
@@ -116,7 +116,7 @@
         ..Open::default()
     };
     let until = clock::now() + 10 * SECOND;
-    let hear = |client: &mut Client, text: String, wanted: &dyn Fn(&ClientEvent) -> bool| {
+    let wait_for = |client: &mut Client, text: String, wanted: &dyn Fn(&ClientEvent) -> bool| {
         client.send(text).map_err(|e| cause_of_error("write", &e))?;
         loop {
             match client.next(until).map_err(|e| cause_of_error("read", &e))? {
@@ -127,29 +127,29 @@
         }
     };
     let plays = |said: &ClientEvent| matches!(said, ClientEvent::Plays { id: of, .. } if *of == id);
-    let said = hear(client, client::open(id, &open), &plays)?;
+    let event = wait_for(client, client::open(id, &open), &plays)?;
     let answered = clock::now();
-    if let ClientEvent::Plays { session, .. } = said {
+    if let ClientEvent::Plays { session, .. } = event {
         let closed =
             |said: &ClientEvent| matches!(said, ClientEvent::Closed { id: of } if *of == id + 1);
-        hear(client, client::close(id + 1, &session), &closed)?;
+        wait_for(client, client::close(id + 1, &session), &closed)?;
     }
     Ok(answered)
 }
 
 /// A set-up on a kept connection or a new one; where it fails the connection goes, for late answers may lie in it.
 fn one(
-    kept: &mut Option<Client>,
+    reused: &mut Option<Client>,
     address: &SocketAddr,
     sweeper: &Arc<IdleSweeper>,
     calls: &AtomicU64,
 ) -> Result<u64, String> {
-    let mut client = match kept.take() {
+    let mut client = match reused.take() {
         Some(client) => client,
         None => Client::connect(address, sweeper).map_err(|e| cause_of_error("connect", &e))?,
     };
     let answered = cycle(&mut client, calls)?;
-    *kept = Some(client);
+    *reused = Some(client);
     Ok(answered)
 }
 
@@ -179,9 +179,9 @@
                 (done.clone(), failed.clone(), stop.clone(), left.clone());
             let (calls, sweeper, address) = (self.calls.clone(), self.sweeper.clone(), target.1);
             spawn(Stack::Usual, move || {
-                let mut kept = None;
+                let mut reused = None;
                 while !stop.load(Ordering::Acquire) {
-                    let came_out = one(&mut kept, &address, &sweeper, &calls);
+                    let came_out = one(&mut reused, &address, &sweeper, &calls);
                     failed
                         .lock()
                         .unwrap_or_else(PoisonError::into_inner)
@@ -249,8 +249,8 @@
             );
             let (calls, sweeper, address) = (self.calls.clone(), self.sweeper.clone(), target.1);
             spawn(Stack::Usual, move || {
-                let mut kept = idle.lock().unwrap_or_else(PoisonError::into_inner).pop();
-                let came_out = one(&mut kept, &address, &sweeper, &calls);
+                let mut reused = idle.lock().unwrap_or_else(PoisonError::into_inner).pop();
+                let came_out = one(&mut reused, &address, &sweeper, &calls);
                 failed
                     .lock()
                     .unwrap_or_else(PoisonError::into_inner)
@@ -263,7 +263,7 @@
                         .saturating_record(took.max(1));
                     idle.lock()
                         .unwrap_or_else(PoisonError::into_inner)
-                        .extend(kept);
+                        .extend(reused);
                 }
                 left.fetch_sub(1, Ordering::AcqRel);
             });
@@ -284,7 +284,7 @@
 
     /// Bytes for each of `count` idle connections, and on top for each of `sessions` that play.
     fn memory(&self, target: &Target, count: usize, sessions: usize) -> io::Result<(f64, f64)> {
-        let held: Arc<Mutex<Vec<Client>>> = Arc::default();
+        let held_open: Arc<Mutex<Vec<Client>>> = Arc::default();
         let before = resident(target.0.id())?;
         let (stop, left) = (
             Arc::new(AtomicBool::new(false)),
@@ -292,15 +292,16 @@
         );
         let connect = |play: bool| {
             left.fetch_add(1, Ordering::AcqRel);
-            let (held, stop, left) = (held.clone(), stop.clone(), left.clone());
+            let (held, stop, left) = (held_open.clone(), stop.clone(), left.clone());
             let (calls, sweeper, address) = (self.calls.clone(), self.sweeper.clone(), target.1);
             spawn(Stack::Usual, move || {
-                let kept = held
+                let reused = held
                     .lock()
                     .unwrap_or_else(PoisonError::into_inner)
                     .pop()
                     .filter(|_| play);
-                if let Some(mut client) = kept.or_else(|| Client::connect(&address, &sweeper).ok())
+                if let Some(mut client) =
+                    reused.or_else(|| Client::connect(&address, &sweeper).ok())
                 {
                     if play {
                         let id = calls.fetch_add(2, Ordering::Relaxed);
--- a/crates/benchmark/src/relay.rs
+++ b/crates/benchmark/src/relay.rs
@@ -116,12 +116,12 @@
         let (id, params) = (&call["id"], &call["params"]);
         if call["method"] == "session.close" {
             let name = params["session"].as_str().unwrap_or("");
-            let held = self
+            let active = self
                 .sessions
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner)
                 .remove(name);
-            if let Some((server, name)) = held {
+            if let Some((server, name)) = active {
                 self.exchange(server, &sessions::tear_down(&server.to_string(), &name));
             }
             return json!({"jsonrpc": "2.0", "id": id, "result": {"closed": true}});
@@ -149,20 +149,20 @@
             return json!({"jsonrpc": "2.0", "id": id, "error": error});
         }
         let media = format!("http://{server}{}", sessions::media_path(&name));
-        let mut held = self.sessions.lock().unwrap_or_else(PoisonError::into_inner);
-        held.insert(session.clone(), (server, name));
+        let mut active = self.sessions.lock().unwrap_or_else(PoisonError::into_inner);
+        active.insert(session.clone(), (server, name));
         json!({"jsonrpc": "2.0", "id": id, "result": {"session": session, "media": media, "rung": 0}})
     }
 
     /// Sends a request over a kept connection and gives the answer's status.
     fn exchange(&self, server: SocketAddr, bytes: &[u8]) -> Option<u16> {
-        let kept = self
+        let keep_alive = self
             .idle
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .get_mut(&server)
             .and_then(Vec::pop);
-        let socket = match kept.filter(|s| s.is_idle()) {
+        let socket = match keep_alive.filter(|s| s.is_idle()) {
             Some(socket) => socket,
             None => Arc::new(Socket::connect(&server, CONNECT).ok()?),
         };
--- a/crates/cli/src/api.rs
+++ b/crates/cli/src/api.rs
@@ -89,14 +89,14 @@
                 status: BAD_FILE,
             })?;
             changes.iter().for_each(|change| println!("{change}"));
-            let kept = |c: &diff::Change| {
+            let is_listed = |c: &diff::Change| {
                 matches!(
                     c.class,
                     diff::Class::Compatible | diff::Class::ForOldClients
                 )
             };
             println!("{} changes", changes.len());
-            Ok(if changes.iter().all(kept) {
+            Ok(if changes.iter().all(is_listed) {
                 ExitCode::SUCCESS
             } else {
                 ExitCode::FAILURE
--- a/crates/cli/src/lab/fleet.rs
+++ b/crates/cli/src/lab/fleet.rs
@@ -111,7 +111,7 @@
                 what,
                 status: BAD_FILE,
             })?;
-        let (kept, all) = tell(&played);
+        let (kept, all) = print_claims(&played);
         println!(
             "fleet {}: fronts {}, claims kept {kept}/{all}",
             case.name, args.fronts
@@ -138,7 +138,7 @@
     })
 }
 
-fn tell(played: &Played) -> (usize, usize) {
+fn print_claims(played: &Played) -> (usize, usize) {
     for claim in &played.claims {
         eprintln!(
             "{}: {}: {}",
@@ -154,10 +154,10 @@
 
 fn processes(case: &Case, args: &FleetArgs) -> Result<ExitCode, Failure> {
     let memories = match args.memory {
-        Keeps::Kept => vec![Memory::Kept],
+        Keeps::Kept => vec![Memory::Preserved],
         Keeps::Forgotten => vec![Memory::Forgotten],
         Keeps::Trusted => vec![Memory::Trusted],
-        Keeps::All => vec![Memory::Kept, Memory::Forgotten, Memory::Trusted],
+        Keeps::All => vec![Memory::Preserved, Memory::Forgotten, Memory::Trusted],
     };
     let mut verdicts = Vec::new();
     for memory in memories {
@@ -206,7 +206,7 @@
     if let Some(file) = &args.report {
         scenario_runner::write_records(file, &outcome.records).map_err(|e| named(file, &e))?;
     }
-    let (kept, all) = tell(&outcome.played);
+    let (kept, all) = print_claims(&outcome.played);
     let verdict = &outcome.verdict;
     verdict
         .breaches
@@ -238,7 +238,7 @@
         case.name,
         args.fronts,
         verdict.sessions,
-        verdict.kept()
+        verdict.passed_rule_count()
     );
     if !outcome.good() {
         eprintln!("configurations and logs: {}", plan.dir.display());
--- a/crates/cli/src/lab/mod.rs
+++ b/crates/cli/src/lab/mod.rs
@@ -9,7 +9,7 @@
 use crankpaddle_testbed::import::{import, Fit};
 use crankpaddle_testbed::invariant_checker::{judge, Rules};
 use crankpaddle_testbed::list_service::{entry, ListService};
-use crankpaddle_testbed::player::Crowd;
+use crankpaddle_testbed::player::PlayerPool;
 use crankpaddle_testbed::record::Recorder;
 use crankpaddle_testbed::scenario_runner::{self, Play};
 use crankpaddle_testbed::script::{self, Day};
@@ -394,14 +394,14 @@
 
 /// What crossed against the budgets, by the servers' records and the fronts' reports, and what the day was worth.
 fn crossing(day: &Day, outcome: &scenario_runner::Outcome) {
-    for (class, worth) in &outcome.crossed.worth {
+    for (class, worth) in &outcome.crossed.utility {
         eprintln!("worth {class}: {worth:.0}");
     }
     let end = outcome.start + day.length;
     let (all, rest) = outcome.crossed.peak(outcome.start, end, OVER);
     eprintln!("crossing: at most {all:.0} kB/s over {OVER} s, {rest:.0} of it not paid for");
-    let budget: f64 = outcome.told.budgets.iter().map(|b| b.rate_kb).sum();
-    for b in &outcome.told.budgets {
+    let budget: f64 = outcome.reported.budgets.iter().map(|b| b.rate_kb).sum();
+    for b in &outcome.reported.budgets {
         let over = b.overdraft_hall_lost_bytes + b.overdraft_hall_full_bytes;
         let (from, to, off) = (&b.from, &b.to, b.written_off_bytes);
         eprintln!(
@@ -418,10 +418,10 @@
     {
         let rate = if budget > 0.0 { budget } else { return };
         let below = outcome.crossed.below(rate, outcome.start + back, end, OVER);
-        let said = below.map_or("not before the day's end".to_owned(), |s| {
+        let recovery_text = below.map_or("not before the day's end".to_owned(), |s| {
             format!("{s} s after")
         });
-        eprintln!("crossing is back under {rate:.0} kB/s {said} the hall came back");
+        eprintln!("crossing is back under {rate:.0} kB/s {recovery_text} the hall came back");
     }
 }
 
@@ -456,7 +456,10 @@
     crankpaddle_net::start(None);
     let config = script::fleet_config(&day.fleet).map_err(|p| wrong("fleet", &p))?;
     let recorder = Recorder::default();
-    let crowd = Arc::new(Crowd::new(recorder.clone(), scenario_runner::habits(day)));
+    let player_pool = Arc::new(PlayerPool::new(
+        recorder.clone(),
+        scenario_runner::habits(day),
+    ));
     let start = clock::now();
     let until = start + day.length;
     for (at, mut visit) in scenario_runner::arrivals(day, &config, seed) {
@@ -465,10 +468,10 @@
         ));
         visit.fronts = vec![(0, front)];
         visit.watch = visit.watch.min(day.length - at);
-        let crowd = crowd.clone();
-        spawn(Stack::Usual, move || crowd.visit(&visit, until));
+        let player_pool = player_pool.clone();
+        spawn(Stack::Usual, move || player_pool.visit(&visit, until));
     }
-    while crowd.there() > 0 {
+    while player_pool.there() > 0 {
         std::thread::sleep(Duration::from_millis(50));
     }
     let verdict = judge(
@@ -485,7 +488,10 @@
     println!(
         "calls {calls}, answered once {once}: played {played}, refused {refused}, failed {failed}"
     );
-    println!("tries that found no front: {}", crowd.found_no_front());
+    println!(
+        "tries that found no front: {}",
+        player_pool.found_no_front()
+    );
     Ok(if calls == once && calls > 0 {
         ExitCode::SUCCESS
     } else {
--- a/crates/cli/tests/power.rs
+++ b/crates/cli/tests/power.rs
@@ -396,7 +396,7 @@
     for id in 0..12 {
         rig.fleet.crash(id);
         rig.fleet.restart(id).unwrap();
-        rig.fleet.lose_book(id);
+        rig.fleet.lose_inventory(id);
     }
     let front = rig.start();
     let mut player = Player::of(&front);
--- a/crates/fault-simulation/examples/foca.rs
+++ b/crates/fault-simulation/examples/foca.rs
@@ -328,11 +328,11 @@
         self.nodes[at].states[of].map(|(state, _)| state)
     }
 
-    fn standing(&self, _: usize) -> Option<LocalHealth> {
+    fn local_health(&self, _: usize) -> Option<LocalHealth> {
         None
     }
 
-    fn turns(&self, from: u64) -> Vec<Turn> {
+    fn state_changes(&self, from: u64) -> Vec<Turn> {
         let since = self.turns.partition_point(|t| t.at < from);
         self.turns[since..].to_vec()
     }
--- a/crates/fault-simulation/src/cluster.rs
+++ b/crates/fault-simulation/src/cluster.rs
@@ -36,9 +36,9 @@
     /// What one takes another for; `None`: it does not know it, or was not asked yet.
     fn state(&self, at: usize, of: usize) -> Option<MemberState>;
     /// How one stands with the others.
-    fn standing(&self, at: usize) -> Option<LocalHealth>;
+    fn local_health(&self, at: usize) -> Option<LocalHealth>;
     /// What changed from a time on, in order.
-    fn turns(&self, from: u64) -> Vec<Turn>;
+    fn state_changes(&self, from: u64) -> Vec<Turn>;
     /// How old one takes an entry for that another wrote last, if it holds it; and how old it is.
     fn entry(&self, at: usize) -> Option<(u64, u64)>;
     /// What one front sent at most.
--- a/crates/fault-simulation/src/net.rs
+++ b/crates/fault-simulation/src/net.rs
@@ -386,11 +386,11 @@
         self.nodes[at].peers.state_of(&name(of))
     }
 
-    fn standing(&self, at: usize) -> Option<LocalHealth> {
+    fn local_health(&self, at: usize) -> Option<LocalHealth> {
         Some(self.nodes[at].peers.local_health())
     }
 
-    fn turns(&self, from: u64) -> Vec<Turn> {
+    fn state_changes(&self, from: u64) -> Vec<Turn> {
         let turn = |(at, by, c): &(u64, usize, MemberChange)| {
             let of = *self.names.get(&c.name)?;
             Some(Turn {
--- a/crates/fault-simulation/src/runner.rs
+++ b/crates/fault-simulation/src/runner.rs
@@ -109,7 +109,7 @@
             let half = if *state == MemberState::Alive {
                 String::new()
             } else {
-                half(&world.turns(from), from, counts)
+                half(&world.state_changes(from), from, counts)
             };
             within(what, bound, took, &half)
         }
@@ -117,7 +117,7 @@
             let wrong = |t: &&Turn| {
                 t.state == MemberState::Gone && by.has(t.by, fleet) && !but.has(t.of, fleet)
             };
-            let count = world.turns(mark).iter().filter(wrong).count();
+            let count = world.state_changes(mark).iter().filter(wrong).count();
             let most = f64::from(*most) + each * fleet as f64;
             Judged {
                 what: what.to_owned(),
@@ -128,14 +128,14 @@
         Claim::Stands(who, standing, bound) => {
             let (who, bound) = (who.of(fleet), bound.of(fleet));
             let took = until(world, 2 * bound, |w| {
-                who.iter().all(|i| w.standing(*i) == Some(*standing))
+                who.iter().all(|i| w.local_health(*i) == Some(*standing))
             });
             within(what, bound, took, "")
         }
         Claim::News(at, of, bound) => {
             let (at, of, bound) = (at.of(fleet), of.of(fleet), bound.of(fleet));
             let took = until(world, 2 * bound, |w| {
-                let turns = w.turns(mark);
+                let turns = w.state_changes(mark);
                 let heard: BTreeSet<(usize, usize)> = turns
                     .iter()
                     .filter(|t| t.restarted)
--- a/crates/fault-simulation/tests/claims.rs
+++ b/crates/fault-simulation/tests/claims.rs
@@ -39,7 +39,7 @@
             .map_or(Some(MemberState::Alive), |t| Some(t.state))
     }
 
-    fn standing(&self, at: usize) -> Option<LocalHealth> {
+    fn local_health(&self, at: usize) -> Option<LocalHealth> {
         let known = |(when, who, _): &&(u64, usize, LocalHealth)| *when <= self.now && *who == at;
         self.standings
             .iter()
@@ -47,7 +47,7 @@
             .map(|(.., standing)| *standing)
     }
 
-    fn turns(&self, from: u64) -> Vec<Turn> {
+    fn state_changes(&self, from: u64) -> Vec<Turn> {
         self.turns
             .iter()
             .filter(|t| (from..=self.now).contains(&t.at))
--- a/crates/testbed/src/crossing.rs
+++ b/crates/testbed/src/crossing.rs
@@ -14,7 +14,7 @@
     pub seconds: BTreeMap<u64, (f64, f64)>,
     /// What was watched by class, in seconds at a rung of worth 1 times the class's worth; less where less was sent than
     /// the rung promises.
-    pub worth: BTreeMap<String, f64>,
+    pub utility: BTreeMap<String, f64>,
     /// Media bytes by zone of the server, zone of the viewer and class.
     pub bytes: BTreeMap<(String, String, String), u64>,
 }
@@ -117,7 +117,7 @@
             .sum();
         let delivered = (bytes as f64 / (wanted * WHOLE).max(1.0)).min(1.0);
         *self
-            .worth
+            .utility
             .entry(config.classes[s.class].clone())
             .or_default() += earned * class.priority_weight * delivered;
         if from != s.zone && !s.zone.is_empty() {
@@ -219,9 +219,9 @@
         );
         let whole = 2.0 * (10.0 * 0.25 + 10.0 * 0.83);
         assert!(
-            close(all.worth["licensed-view"], whole * 0.5 / WHOLE),
+            close(all.utility["licensed-view"], whole * 0.5 / WHOLE),
             "{:?}",
-            all.worth
+            all.utility
         );
         assert_eq!(all.bytes.values().sum::<u64>(), 840_000);
     }
--- a/crates/testbed/src/disk.rs
+++ b/crates/testbed/src/disk.rs
@@ -35,7 +35,7 @@
         }
     }
 
-    fn room(&self) -> Result<(), Error> {
+    fn check_capacity(&self) -> Result<(), Error> {
         if self.full.load(Ordering::Acquire) {
             return Err(Error::from(ErrorKind::StorageFull));
         }
@@ -53,19 +53,19 @@
     }
 
     fn set_len(&self, len: u64) -> Result<(), Error> {
-        self.room()?;
+        self.check_capacity()?;
         self.inner.set_len(len)
     }
 
     fn sync_data(&self) -> Result<(), Error> {
-        self.room()?;
+        self.check_capacity()?;
         self.syncs.fetch_add(1, Ordering::AcqRel);
         std::thread::sleep(Duration::from_millis(self.slow.load(Ordering::Acquire)));
         self.inner.sync_data()
     }
 
     fn write(&self, offset: u64, data: &[u8]) -> Result<(), Error> {
-        self.room()?;
+        self.check_capacity()?;
         self.inner.write(offset, data)
     }
 }
--- a/crates/testbed/src/fault_mode.rs
+++ b/crates/testbed/src/fault_mode.rs
@@ -2,13 +2,13 @@
 
 /// How what is told goes astray.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Astray {
+pub struct ResponseFault {
     /// It comes so much later, each time by a part of this that is drawn: so some overtake others. Nanoseconds.
     pub late: u64,
     /// Part of it that never comes.
     pub lost: f64,
     /// Part of it that comes twice.
-    pub doubled: f64,
+    pub duplicated: f64,
 }
 
 /// How a server misbehaves.
@@ -25,5 +25,5 @@
     /// Answers come a byte a second.
     pub trickles: bool,
     /// How what it tells unasked goes astray.
-    pub astray: Astray,
+    pub response_fault: ResponseFault,
 }
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -5,9 +5,9 @@
 use crate::invariant_checker::{judge, Rules, Verdict};
 use crate::list_service::{entry, ListService};
 use crate::membership_poll::Views;
-use crate::player::{Crowd, Habits, Visit};
+use crate::player::{Habits, PlayerPool, Visit};
 use crate::process::{end_all, with_workers, Process};
-use crate::record::{Record, Recorder, Seen, Told};
+use crate::record::{PlayerReply, Record, Recorder, Seen};
 use crate::scenario_runner::{arrivals, habits, layout, BLUR, DRAIN_GRACE};
 use crate::script::{fleet_config, front_block, Day};
 use crate::server::Fleet;
@@ -79,15 +79,15 @@
 impl Cost {
     /// Call once all fronts have ended. Danger: the time is that of all children of this process that were waited for.
     fn of(records: &[Record]) -> Cost {
-        let mut asked: HashMap<u64, u64> = HashMap::new();
+        let mut opened_at: HashMap<u64, u64> = HashMap::new();
         let mut times = Vec::new();
         for Record { at, seen } in records {
             match seen {
-                Seen::Asked { call, .. } => drop(asked.insert(*call, *at)),
-                Seen::Told {
+                Seen::OpenSent { call, .. } => drop(opened_at.insert(*call, *at)),
+                Seen::CallAnswered {
                     call,
-                    told: Told::Plays,
-                } => times.extend(asked.get(call).map(|from| at - from)),
+                    reply: PlayerReply::Plays,
+                } => times.extend(opened_at.get(call).map(|from| at - from)),
                 _ => {}
             }
         }
@@ -127,7 +127,7 @@
 }
 
 /// The fleet of processes.
-struct Rig<'a> {
+struct Harness<'a> {
     plan: &'a Plan,
     stage: &'a Stage,
     seeds: Vec<usize>,
@@ -139,10 +139,10 @@
     others: Vec<bool>, // Who runs the other build from its next start on.
     began: u64,
     hosts: Option<Hosts>, // Where power goes in the case.
-    crowd: Arc<Crowd>,
+    players: Arc<PlayerPool>,
 }
 
-impl Rig<'_> {
+impl Harness<'_> {
     fn text(&self, i: usize) -> String {
         let zones = &self.stage.config.zones;
         let zone = &zones[i % zones.len()];
@@ -253,7 +253,7 @@
             };
             let seen = Seen::Stalled {
                 front: i as u32,
-                stands,
+                stopped: stands,
             };
             if stands {
                 self.stage.recorder.see(seen);
@@ -267,13 +267,13 @@
     }
 }
 
-impl Rig<'_> {
+impl Harness<'_> {
     fn lost(&self, paid: bool) -> (u64, u64, u64) {
         let is_paid = |class: u8| {
             let of = self.stage.config.settings.classes.get(usize::from(class));
             of.is_some_and(|c| c.idempotency == crankpaddle::Idempotency::AtMostOnce)
         };
-        self.crowd.lost(|class| !paid || is_paid(class))
+        self.players.lost(|class| !paid || is_paid(class))
     }
 
     fn power(&mut self, power: &Power) -> io::Result<()> {
@@ -284,7 +284,7 @@
         match power {
             Power::Off(fronts, of_servers, list) => {
                 let (fronts, of_servers) = (fronts.of(n), of_servers.of(servers));
-                self.crowd.power_went();
+                self.players.power_went();
                 hosts.off(&fronts)?;
                 // The servers first by microseconds: a front that lives on for that long sees them break, as on a real night.
                 hosts.servers_off(&self.stage.fleet, &of_servers);
@@ -306,14 +306,14 @@
                 of_servers
                     .of(servers)
                     .into_iter()
-                    .for_each(|id| self.stage.fleet.lose_book(id as u32));
+                    .for_each(|id| self.stage.fleet.lose_inventory(id as u32));
                 Ok(())
             }
         }
     }
 }
 
-impl World for Rig<'_> {
+impl World for Harness<'_> {
     fn fronts(&self) -> usize {
         self.processes.len()
     }
@@ -329,12 +329,12 @@
     fn act(&mut self, act: &Act) -> Result<(), String> {
         let n = self.processes.len();
         let of = |fronts: &Fronts| fronts.of(n);
-        let said = |e: io::Error| e.to_string();
+        let to_text = |e: io::Error| e.to_string();
         match act {
-            Act::Start(fronts) => self.start(&of(fronts)).map_err(said)?,
-            Act::Kill(fronts) => self.kill(&of(fronts)).map_err(said)?,
+            Act::Start(fronts) => self.start(&of(fronts)).map_err(to_text)?,
+            Act::Kill(fronts) => self.kill(&of(fronts)).map_err(to_text)?,
             Act::End(fronts) => {
-                let faults = self.end(&of(fronts)).map_err(said)?;
+                let faults = self.end(&of(fronts)).map_err(to_text)?;
                 if !faults.is_empty() {
                     return Err(faults.join("; "));
                 }
@@ -343,9 +343,9 @@
             Act::GoOn(fronts) => self.stop(&of(fronts), false),
             Act::Restart(fronts, after) => {
                 let which = of(fronts);
-                self.kill(&which).map_err(said)?;
+                self.kill(&which).map_err(to_text)?;
                 self.run(*after);
-                self.start(&which).map_err(said)?;
+                self.start(&which).map_err(to_text)?;
             }
             Act::Net { .. } | Act::Cut { .. } | Act::Heal | Act::Flood(..) => {
                 let act = act.clone();
@@ -356,7 +356,7 @@
             Act::Runs(fronts, other) => {
                 of(fronts).into_iter().for_each(|i| self.others[i] = *other);
             }
-            Act::Power(power) => self.power(power).map_err(said)?,
+            Act::Power(power) => self.power(power).map_err(to_text)?,
             Act::Write(_) => {
                 return Err("no front writes on the board yet; play it with --virtual".to_owned())
             }
@@ -368,12 +368,12 @@
         self.views.state(at, of)
     }
 
-    fn standing(&self, at: usize) -> Option<LocalHealth> {
-        self.views.standing(at)
+    fn local_health(&self, at: usize) -> Option<LocalHealth> {
+        self.views.local_health(at)
     }
 
-    fn turns(&self, from: u64) -> Vec<Turn> {
-        self.views.turns(from)
+    fn state_changes(&self, from: u64) -> Vec<Turn> {
+        self.views.state_changes(from)
     }
 
     fn entry(&self, _: usize) -> Option<(u64, u64)> {
@@ -381,7 +381,7 @@
     }
 
     fn lost(&self, paid: bool) -> Option<(u64, u64, u64)> {
-        self.hosts.as_ref().map(|_| Rig::lost(self, paid))
+        self.hosts.as_ref().map(|_| Harness::lost(self, paid))
     }
 
     fn warming(&self, sessions: f64) -> Option<u64> {
@@ -401,7 +401,7 @@
 }
 
 /// Players come until it is over; they choose among the fronts that run.
-fn come(visits: Vec<(u64, Visit)>, crowd: &Arc<Crowd>, views: &Views, over: &AtomicBool) {
+fn come(visits: Vec<(u64, Visit)>, crowd: &Arc<PlayerPool>, views: &Views, over: &AtomicBool) {
     let start = clock::now();
     for (at, mut visit) in visits {
         std::thread::sleep(Duration::from_nanos(
@@ -464,8 +464,8 @@
                 .map(|(_, a)| a)
         }
     };
-    let crowd = Arc::new(Crowd::new(recorder.clone(), habits).finding(Box::new(finder)));
-    let mut rig = Rig {
+    let players = Arc::new(PlayerPool::new(recorder.clone(), habits).finding(Box::new(finder)));
+    let mut harness = Harness {
         plan,
         stage: &stage,
         seeds: case.seeds.of(n),
@@ -477,12 +477,12 @@
         others: vec![false; n],
         began: clock::now(),
         hosts,
-        crowd: crowd.clone(),
+        players: players.clone(),
     };
-    rig.start(&case.first.of(n))?;
+    harness.start(&case.first.of(n))?;
     let over = Arc::new(AtomicBool::new(false));
     let coming = {
-        let (crowd, views, over) = (crowd.clone(), views.clone(), over.clone());
+        let (crowd, views, over) = (players.clone(), views.clone(), over.clone());
         let visits = arrivals(
             &Day {
                 length: 3600 * SECOND,
@@ -493,21 +493,21 @@
         );
         std::thread::spawn(move || come(visits, &crowd, &views, &over))
     };
-    let played = play(case, &mut rig).map_err(io::Error::other);
+    let played = play(case, &mut harness).map_err(io::Error::other);
     over.store(true, Ordering::Release);
     let mut faults = Vec::new();
     if coming.join().is_err() {
         faults.push("the thread that sends players died".to_owned());
     }
     let all: Vec<usize> = (0..n).collect();
-    rig.stop(&all, false);
-    crowd.leave();
+    harness.stop(&all, false);
+    players.leave();
     let last = clock::now() + AFTER;
-    while crowd.there() > 0 && clock::now() < last {
+    while players.there() > 0 && clock::now() < last {
         std::thread::sleep(Duration::from_millis(50));
     }
-    if crowd.there() > 0 {
-        faults.push(format!("{} players never left", crowd.there()));
+    if players.there() > 0 {
+        faults.push(format!("{} players never left", players.there()));
     }
     // Sessions of players that did not come back are ended by their front after its time. Where a front was killed nobody ends them.
     let died = recorder
@@ -526,8 +526,8 @@
     }
     faults.extend(views.missed());
     views.end();
-    faults.extend(rig.end(&all)?);
-    drop(rig);
+    faults.extend(harness.end(&all)?);
+    drop(harness);
     let records = recorder.all();
     let verdict = judge(&Rules::of(&config, DRAIN_GRACE, BLUR), &records);
     let cost = Cost::of(&records);
--- a/crates/testbed/src/host_faults.rs
+++ b/crates/testbed/src/host_faults.rs
@@ -20,7 +20,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Memory {
     /// What they began, settled with the servers, and service returns in order.
-    Kept,
+    Preserved,
     /// Nothing; the list is believed as it is told.
     Forgotten,
     /// What they began, and nobody is asked: service returns at once, and what is open counts as run.
@@ -33,7 +33,7 @@
     memory: Memory,
     seed: u64,
     boots: Vec<u32>,
-    cold: usize, // Servers whose power went.
+    warming_up: usize, // Servers whose power went.
 }
 
 impl Hosts {
@@ -44,11 +44,11 @@
             memory,
             seed,
             boots: vec![0; fronts],
-            cold: 0,
+            warming_up: 0,
         };
         for i in 0..fronts {
             // What an earlier play left: with the same seed players come with the same keys, which are spent there.
-            for folder in [hosts.store(i), hosts.copied(i)]
+            for folder in [hosts.store(i), hosts.copy_dir(i)]
                 .into_iter()
                 .filter(|folder| folder.exists())
             {
@@ -70,7 +70,7 @@
         self.dir.join(format!("store-{i}"))
     }
 
-    fn copied(&self, i: usize) -> PathBuf {
+    fn copy_dir(&self, i: usize) -> PathBuf {
         self.dir.join(format!("store-{i}-copied"))
     }
 
@@ -79,7 +79,7 @@
         let at_once = "settle: \"1us\" calm: \"1us\" paid_first: \"1us\"";
         let steps = match self.memory {
             Memory::Forgotten => return String::new(),
-            Memory::Kept => "",
+            Memory::Preserved => "",
             Memory::Trusted => at_once,
         };
         let (dir, key, boot) = (self.store(i), &self.key, self.dir.join(format!("boot-{i}")));
@@ -98,7 +98,7 @@
 
     pub(crate) fn servers_off(&mut self, fleet: &Fleet, servers: &[usize]) {
         servers.iter().for_each(|id| fleet.crash(*id as u32));
-        self.cold += servers.len();
+        self.warming_up += servers.len();
     }
 
     /// They start, cold, and the list service hears of it in its own time.
@@ -130,7 +130,7 @@
     pub(crate) fn copy(&self, fronts: &[usize]) -> io::Result<()> {
         fronts
             .iter()
-            .try_for_each(|i| replace(&self.store(*i), &self.copied(*i)))
+            .try_for_each(|i| replace(&self.store(*i), &self.copy_dir(*i)))
     }
 
     pub(crate) fn spoil(&self, fronts: &[usize], spoil: Spoil) -> io::Result<()> {
@@ -142,11 +142,12 @@
             match spoil {
                 Spoil::Intact => {}
                 Spoil::Empty => fs::remove_dir_all(&store)?,
-                Spoil::Old => replace(&self.copied(*i), &store)?,
+                Spoil::Old => replace(&self.copy_dir(*i), &store)?,
                 Spoil::Torn => {
-                    let whole = fs::read(&file)?;
-                    let at = (jitter(self.seed ^ (*i as u64) << 20) * whole.len() as f64) as usize;
-                    fs::write(&file, &whole[..at])?;
+                    let full_bytes = fs::read(&file)?;
+                    let at =
+                        (jitter(self.seed ^ (*i as u64) << 20) * full_bytes.len() as f64) as usize;
+                    fs::write(&file, &full_bytes[..at])?;
                 }
             }
         }
@@ -157,7 +158,7 @@
     /// falling over at each moment: what no front can better. Those whose power stayed take all at once.
     pub(crate) fn warming(&self, config: &Config, sessions: f64) -> Option<u64> {
         let s = &config.settings;
-        let pace = f64::from(*s.stream_capacity.first()?) / s.slow_start_duration as f64
+        let rate = f64::from(*s.stream_capacity.first()?) / s.slow_start_duration as f64
             * s.overload_multiple;
         let mut taken = 0.0;
         for step in 0..STEPS {
@@ -165,8 +166,9 @@
                 return Some(step * STEP);
             }
             let age = (step * STEP) as f64 / s.slow_start_duration as f64;
-            let warmth = (s.slow_start_min_factor + (1.0 - s.slow_start_min_factor) * age).min(1.0);
-            taken += self.cold as f64 * pace * warmth * STEP as f64;
+            let warm_up_progress =
+                (s.slow_start_min_factor + (1.0 - s.slow_start_min_factor) * age).min(1.0);
+            taken += self.warming_up as f64 * rate * warm_up_progress * STEP as f64;
         }
         None
     }
--- a/crates/testbed/src/import.rs
+++ b/crates/testbed/src/import.rs
@@ -19,7 +19,8 @@
     tiers: Vec<Tier>,
     servers: Vec<Value>,
     balancers: Vec<Value>,
-    troubles: Vec<Trouble>,
+    #[serde(rename = "troubles")]
+    faults: Vec<BenchFault>,
     fam: Family,
     fall_multiple: f64,
     fall_for: u64,
@@ -52,7 +53,8 @@
     name: String,
     share: f64,
     work: f64,
-    aim: u64,
+    #[serde(rename = "aim")]
+    latency_objective: u64,
     deadline: u64,
     worth: f64,
     effect: String,
@@ -63,8 +65,10 @@
 #[derive(Deserialize)]
 struct Tier {
     kinds: Vec<Machine>,
-    stated_cold: u64,
-    stated_cold_from: f64,
+    #[serde(rename = "stated_cold")]
+    slow_start_duration: u64,
+    #[serde(rename = "stated_cold_from")]
+    slow_start_min_factor: f64,
 }
 
 #[derive(Deserialize)]
@@ -79,7 +83,8 @@
     cells: u32,
     core_kb: f64,
     core_slots: f64,
-    life_s: f64,
+    #[serde(rename = "life_s")]
+    session_length_s: f64,
     racks: u32,
     rates: Vec<f64>,
     worth: Vec<f64>,
@@ -88,7 +93,8 @@
     stall: f64,
     switch_s: f64,
     see: u64,
-    tell: u64,
+    #[serde(rename = "tell")]
+    update_delay: u64,
     title_zipf: f64,
     titles: u32,
     copies: f64,
@@ -108,7 +114,7 @@
 }
 
 #[derive(Deserialize)]
-struct Trouble {
+struct BenchFault {
     kind: String,
     at: u64,
     len: u64,
@@ -181,7 +187,7 @@
         "traffic {{\n  rate: {rate:.3}\n  share: [{}]\n  watch: \"{:.1}s\"\n  zipf: {:.3}\n  returns: {:.3}\n  \
          back_after: \"{:.0}us\"\n  honour: {:.3}\n  reconnect: 0.02\n}}",
         shares.join(", "),
-        day.fam.life_s,
+        day.fam.session_length_s,
         day.fam.title_zipf,
         day.fam.returns,
         day.fam.rejoin_us,
@@ -189,7 +195,7 @@
     );
     let _ = writeln!(text, "list_delay: \"{}us\"", day.discovery.notice);
     let mut left_out = Vec::new();
-    for trouble in &day.troubles {
+    for trouble in &day.faults {
         match faults(trouble, &day, servers, fronts) {
             Some(lines) => text.extend(lines.iter().flat_map(|line| [line.as_str(), "\n"])),
             None => {
@@ -206,7 +212,7 @@
 }
 
 /// The faults of a trouble; none where it falls on nothing that is left of the fleet, `None` where it has no like.
-fn faults(t: &Trouble, day: &Bench, servers: u32, fronts: u32) -> Option<Vec<String>> {
+fn faults(t: &BenchFault, day: &Bench, servers: u32, fronts: u32) -> Option<Vec<String>> {
     let on = |ids: &[u32], most: u32| {
         let mut ids: Vec<u32> = ids.iter().map(|id| id % most).collect();
         ids.sort_unstable();
@@ -301,7 +307,7 @@
         fam.guard,
         fam.join,
         fam.see,
-        fam.tell.max(1)
+        fam.update_delay.max(1)
     );
     t.push_str("ladder {\n");
     for (rate, worth) in fam.rates.iter().zip(&fam.worth) {
@@ -334,7 +340,7 @@
             "class {{\n  name: {:?}\n  effect: {effect}\n  aim: \"{}us\"\n  give_up: \"{}us\"\n  worth: {}\n  \
              floor: {}\n  top: {}\n  rate_factor: {}\n  seats: {:.0}\n  live: {}\n}}",
             class.name,
-            class.aim,
+            class.latency_objective,
             class.deadline,
             class.worth,
             terms.floor.min(rungs - 1),
@@ -350,8 +356,8 @@
          fall: \"{}us\"\n  over_share_worth: 0.1\n  cross_zone_price: 0.01\n}}",
         day.allow.max_attempts,
         day.clients.max_retry_after.max(1),
-        tier.stated_cold.max(1),
-        tier.stated_cold_from,
+        tier.slow_start_duration.max(1),
+        tier.slow_start_min_factor,
         day.fall_multiple,
         day.fall_for
     );
@@ -425,7 +431,7 @@
             ("fast_errors", 0.5, 0.0, Kind::FastErrors(0.5)),
             ("shared_slow", 1.5, 0.0, Kind::Slow(1.5)),
             ("burst", 2.0, 3.0, Kind::Burst(2.0)),
-            ("hot_key", 0.2, 1.0, Kind::Crowd(0, 0.2)),
+            ("hot_key", 0.2, 1.0, Kind::LoadSurge(0, 0.2)),
             ("discovery_stale", 3.0, 0.0, Kind::ListLate(3_000_000_000)),
             ("zone_loss", 0.6, 0.7, Kind::Vanish),
             ("deploy", 0.1, 4.0, Kind::Drain),
--- a/crates/testbed/src/invariant_checker.rs
+++ b/crates/testbed/src/invariant_checker.rs
@@ -3,7 +3,7 @@
 //! Each rule has a bound on what clocks and scheduling may blur: times are taken where a stand-in reads, so what is
 //! seen here can be later than what was done, by [`Rules::blur`] at the most. A front that stood still is excused
 //! for being late, not for being wrong.
-use crate::record::{Record, Reply, Seen, Told};
+use crate::record::{PlayerReply, Record, Reply, Seen};
 use crankpaddle::Idempotency;
 use crankpaddle_config::Config;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -30,9 +30,9 @@
     /// Nothing new to a server so long after a front was told that it drains or is gone.
     pub drain_grace: u64,
     /// A started server is warm after this time ...
-    pub cold: u64,
+    pub slow_start_duration: u64,
     /// ... begins with this part of its pace ...
-    pub cold_share: f64,
+    pub slow_start_min_factor: f64,
     /// ... and falls when sent more than this multiple of its present pace ...
     pub fall_multiple: f64,
     /// ... within this time.
@@ -56,8 +56,8 @@
         Rules {
             classes: config.classes.iter().zip(&s.classes).map(class).collect(),
             drain_grace,
-            cold: s.slow_start_duration,
-            cold_share: s.slow_start_min_factor,
+            slow_start_duration: s.slow_start_duration,
+            slow_start_min_factor: s.slow_start_min_factor,
             fall_multiple: s.overload_multiple,
             fall: s.overload_window,
             retry: s
@@ -100,7 +100,7 @@
 
 impl Verdict {
     /// How many of the six rules were kept.
-    pub fn kept(&self) -> usize {
+    pub fn passed_rule_count(&self) -> usize {
         6 - self
             .breaches
             .iter()
@@ -118,12 +118,12 @@
             billed_twice,
             ..
         } = self;
-        let kept = self.kept();
+        let passed = self.passed_rule_count();
         write!(
             f,
             "sessions {sessions}, answered once {answered_once}, billed twice {billed_twice}, "
         )?;
-        write!(f, "rules kept {kept}/6")
+        write!(f, "rules kept {passed}/6")
     }
 }
 
@@ -161,7 +161,7 @@
     judge.answers();
     judge.effects();
     judge.drains();
-    judge.cold_servers();
+    judge.check_slow_start();
     judge.terms();
     judge.attempts();
     judge.verdict.breaches.sort_by_key(|b| b.at);
@@ -182,7 +182,7 @@
         let mut names: BTreeMap<u32, BTreeSet<&str>> = BTreeMap::new();
         for Record { at, seen } in self.records {
             match seen {
-                Seen::Asked { front, bill, .. } => drop(numbers.insert(bill, *front)),
+                Seen::OpenSent { front, bill, .. } => drop(numbers.insert(bill, *front)),
                 Seen::SetUp {
                     name,
                     server,
@@ -207,7 +207,10 @@
                     }
                 }
                 Seen::Died { front } => self.deaths.entry(*front).or_default().push(*at),
-                Seen::Stalled { front, stands } => {
+                Seen::Stalled {
+                    front,
+                    stopped: stands,
+                } => {
                     let spans = self.stalls_by_number.entry(*front).or_default();
                     if *stands {
                         spans.push((*at, u64::MAX));
@@ -227,46 +230,46 @@
 
     /// Rule 1: every request gets one answer, in time.
     fn answers(&mut self) {
-        struct Asked {
+        struct OpenCall {
             at: u64,
             front: u32,
-            gives_up: u64,
-            told: Vec<(u64, Told)>,
-            broke: bool,
+            deadline: u64,
+            reply: Vec<(u64, PlayerReply)>,
+            disconnected: bool,
         }
-        let mut calls: BTreeMap<u64, Asked> = BTreeMap::new();
-        let mut strange = Vec::new();
+        let mut calls: BTreeMap<u64, OpenCall> = BTreeMap::new();
+        let mut unexpected = Vec::new();
         for Record { at, seen } in self.records {
             match seen {
-                Seen::Asked {
+                Seen::OpenSent {
                     call,
                     front,
-                    gives_up,
+                    deadline: gives_up,
                     ..
                 } => {
                     let (at, front, gives_up) = (*at, *front, *gives_up);
                     calls.insert(
                         *call,
-                        Asked {
+                        OpenCall {
                             at,
                             front,
-                            gives_up,
-                            told: vec![],
-                            broke: false,
+                            deadline: gives_up,
+                            reply: vec![],
+                            disconnected: false,
                         },
                     );
                 }
-                Seen::Told { call, told } => match calls.get_mut(call) {
-                    Some(asked) => asked.told.push((*at, *told)),
-                    None => strange.push((*at, *call)),
+                Seen::CallAnswered { call, reply: told } => match calls.get_mut(call) {
+                    Some(asked) => asked.reply.push((*at, *told)),
+                    None => unexpected.push((*at, *call)),
                 },
-                Seen::Broke { call } => {
-                    calls.entry(*call).and_modify(|c| c.broke = true);
+                Seen::Disconnected { call } => {
+                    calls.entry(*call).and_modify(|c| c.disconnected = true);
                 }
                 _ => {}
             }
         }
-        for (at, call) in strange {
+        for (at, call) in unexpected {
             self.breach(
                 1,
                 at,
@@ -278,22 +281,22 @@
             let excused = overlaps(
                 self.stalls_by_number.get(&asked.front),
                 asked.at,
-                asked.gives_up,
+                asked.deadline,
             );
             // Who was killed owes nothing more; who asked may have been heard of just after.
-            let during = asked.at.saturating_sub(self.rules.blur)..=asked.gives_up;
+            let during = asked.at.saturating_sub(self.rules.blur)..=asked.deadline;
             let died = self
                 .deaths
                 .get(&asked.front)
                 .is_some_and(|all| all.iter().any(|at| during.contains(at)));
-            match asked.told[..] {
-                [] if asked.broke || died => {}
+            match asked.reply[..] {
+                [] if asked.disconnected || died => {}
                 [] => {
-                    self.breach(1, asked.gives_up, format!("call {call} was never answered"));
+                    self.breach(1, asked.deadline, format!("call {call} was never answered"));
                     continue;
                 }
-                [(at, _)] if at > asked.gives_up + self.rules.blur && !excused => {
-                    let late = (at - asked.gives_up) / 1_000_000;
+                [(at, _)] if at > asked.deadline + self.rules.blur && !excused => {
+                    let late = (at - asked.deadline) / 1_000_000;
                     self.breach(
                         1,
                         at,
@@ -303,16 +306,16 @@
                 }
                 [_] => {}
                 [_, (at, _), ..] => {
-                    let count = asked.told.len();
+                    let count = asked.reply.len();
                     self.breach(1, at, format!("call {call} was answered {count} times"));
                     continue;
                 }
             }
             self.verdict.answered_once += 1;
-            match asked.told.first().map(|t| t.1) {
-                Some(Told::Plays) => self.verdict.played += 1,
-                Some(Told::Refused) => self.verdict.refused += 1,
-                Some(Told::Failed) => self.verdict.failed += 1,
+            match asked.reply.first().map(|t| t.1) {
+                Some(PlayerReply::Plays) => self.verdict.played += 1,
+                Some(PlayerReply::Refused) => self.verdict.refused += 1,
+                Some(PlayerReply::Failed) => self.verdict.failed += 1,
                 _ => {}
             }
         }
@@ -340,7 +343,7 @@
         let mut breaches = Vec::new();
         for Record { at, seen } in self.records {
             match seen {
-                Seen::Asked {
+                Seen::OpenSent {
                     call, bill, class, ..
                 } => drop(calls.insert(*call, (bill, *class))),
                 Seen::SetUp {
@@ -394,9 +397,9 @@
                     let state = bills.entry(bill).or_default();
                     state.ran &= state.billed > 0;
                 }
-                Seen::Told {
+                Seen::CallAnswered {
                     call,
-                    told: Told::Refused,
+                    reply: PlayerReply::Refused,
                 } => {
                     let Some((bill, class)) = calls.get(call) else {
                         continue;
@@ -430,7 +433,7 @@
 
     /// Rule 3: nothing new goes to a server after the grace.
     fn drains(&mut self) {
-        let mut told: HashMap<(&str, u32), u64> = HashMap::new();
+        let mut reply: HashMap<(&str, u32), u64> = HashMap::new();
         let mut breaches = Vec::new();
         for Record { at, seen } in self.records {
             match seen {
@@ -438,13 +441,13 @@
                     front,
                     server,
                     ready: true,
-                } => drop(told.remove(&(front.as_str(), *server))),
+                } => drop(reply.remove(&(front.as_str(), *server))),
                 Seen::Listed {
                     front,
                     server,
                     ready: false,
                 } => {
-                    told.entry((front, *server)).or_insert(*at);
+                    reply.entry((front, *server)).or_insert(*at);
                 }
                 Seen::SetUp {
                     front,
@@ -452,20 +455,20 @@
                     name,
                     ..
                 } => {
-                    let Some(since) = told.get(&(front.as_str(), *server)) else {
+                    let Some(since) = reply.get(&(front.as_str(), *server)) else {
                         continue;
                     };
                     let bound = since + self.rules.drain_grace;
                     let stood = self.stalls.get(front.as_str());
                     // What lay unread while the front stood was not heard yet.
-                    let heard = stood
+                    let last_received = stood
                         .into_iter()
                         .flatten()
                         .filter(|(a, b)| *a <= bound && *b >= *since);
-                    let heard = heard
+                    let last_received = last_received
                         .map(|(_, b)| b.saturating_add(self.rules.drain_grace))
                         .max();
-                    if *at > bound.max(heard.unwrap_or(0)) + self.rules.blur {
+                    if *at > bound.max(last_received.unwrap_or(0)) + self.rules.blur {
                         let late = (at - since) / 1_000_000;
                         let what = format!(
                             "session {name} was sent to server {server} {late} ms after its drain"
@@ -482,7 +485,7 @@
     }
 
     /// Rule 4: a cold server is not pushed over by all fronts together, as far as they knew.
-    fn cold_servers(&mut self) {
+    fn check_slow_start(&mut self) {
         let mut starts: HashMap<u32, (u64, f64)> = HashMap::new();
         let mut sent: HashMap<u32, Vec<(u64, &str)>> = HashMap::new();
         let mut knew: BTreeSet<(u32, &str)> = BTreeSet::new(); // Of the present life, or of the end of the last.
@@ -506,16 +509,17 @@
                         continue;
                     };
                     let age = at - start;
-                    if age >= self.rules.cold {
+                    if age >= self.rules.slow_start_duration {
                         continue;
                     }
                     let sends = sent.entry(*server).or_default();
                     sends.push((*at, front));
                     sends.retain(|(t, _)| at - t < self.rules.fall);
-                    let part = age as f64 / self.rules.cold as f64;
-                    let warmth = self.rules.cold_share + (1.0 - self.rules.cold_share) * part;
-                    let pace = places / self.rules.cold as f64 * warmth;
-                    let bound = self.rules.fall_multiple * pace * self.rules.fall as f64 + 1.0;
+                    let part = age as f64 / self.rules.slow_start_duration as f64;
+                    let warm_up_progress = self.rules.slow_start_min_factor
+                        + (1.0 - self.rules.slow_start_min_factor) * part;
+                    let rate = places / self.rules.slow_start_duration as f64 * warm_up_progress;
+                    let bound = self.rules.fall_multiple * rate * self.rules.fall as f64 + 1.0;
                     let knowing = sends
                         .iter()
                         .filter(|(_, f)| knew.contains(&(*server, f)))
@@ -543,7 +547,7 @@
     /// Rule 5: floors and seats.
     fn terms(&mut self) {
         let class = |name: &str| self.rules.classes.iter().find(|c| c.name == name);
-        let mut held: HashMap<(&str, &str, &str), BTreeSet<&str>> = HashMap::new();
+        let mut active: HashMap<(&str, &str, &str), BTreeSet<&str>> = HashMap::new();
         let mut breaches = Vec::new();
         for Record { at, seen } in self.records {
             match seen {
@@ -568,7 +572,7 @@
                         ));
                     }
                     if rule.seats > 0 && matches!(seen, Seen::SetUp { .. }) {
-                        let seats = held.entry((s.front, s.class, s.title)).or_default();
+                        let seats = active.entry((s.front, s.class, s.title)).or_default();
                         seats.insert(name);
                         if seats.len() > rule.seats as usize {
                             let count = seats.len();
@@ -578,9 +582,9 @@
                         }
                     }
                 }
-                Seen::Ended { name, .. } => leave(&mut held, &self.sessions, name),
+                Seen::Ended { name, .. } => leave(&mut active, &self.sessions, name),
                 Seen::Replied { name, reply } if *reply != Reply::Plays => {
-                    leave(&mut held, &self.sessions, name);
+                    leave(&mut active, &self.sessions, name);
                 }
                 _ => {}
             }
@@ -595,20 +599,20 @@
         let Some((floor, share, window)) = self.rules.retry else {
             return;
         };
-        let mut asked: HashMap<&str, usize> = HashMap::new(); // By bill: requests not yet sent for.
+        let mut unsent_requests: HashMap<&str, usize> = HashMap::new(); // By bill: requests not yet sent for.
         let mut taken: BTreeMap<u32, Vec<u64>> = BTreeMap::new();
         let mut number: HashMap<&str, u32> = HashMap::new();
         let mut further: BTreeMap<u32, Vec<u64>> = BTreeMap::new();
         let mut breaches = Vec::new();
         for Record { at, seen } in self.records {
             match seen {
-                Seen::Asked { front, bill, .. } => {
-                    *asked.entry(bill).or_default() += 1;
+                Seen::OpenSent { front, bill, .. } => {
+                    *unsent_requests.entry(bill).or_default() += 1;
                     taken.entry(*front).or_default().push(*at);
                     number.insert(bill, *front);
                 }
                 Seen::SetUp { bill, .. } => {
-                    let first = asked.get_mut(bill.as_str()).filter(|n| **n > 0);
+                    let first = unsent_requests.get_mut(bill.as_str()).filter(|n| **n > 0);
                     let Some(front) = number.get(bill.as_str()) else {
                         continue;
                     };
@@ -638,9 +642,9 @@
     }
 }
 
-type Held<'a> = HashMap<(&'a str, &'a str, &'a str), BTreeSet<&'a str>>;
+type ActiveSessions<'a> = HashMap<(&'a str, &'a str, &'a str), BTreeSet<&'a str>>;
 
-fn leave(held: &mut Held<'_>, sessions: &HashMap<&str, Session<'_>>, name: &str) {
+fn leave(held: &mut ActiveSessions<'_>, sessions: &HashMap<&str, Session<'_>>, name: &str) {
     if let Some(s) = sessions.get(name) {
         if let Some(seats) = held
             .iter_mut()
--- a/crates/testbed/src/list_service.rs
+++ b/crates/testbed/src/list_service.rs
@@ -96,7 +96,7 @@
                 let now = clock::now();
                 let beats = now >= beat + HEARTBEAT;
                 beat = if beats { now } else { beat };
-                teller.tell(now, beats);
+                teller.notify_subscribers(now, beats);
             }
         });
         Ok(service)
@@ -124,7 +124,7 @@
         lock(&self.known).late.push_back((at, entry));
     }
 
-    fn tell(&self, now: u64, beats: bool) {
+    fn notify_subscribers(&self, now: u64, beats: bool) {
         let mut known = lock(&self.known);
         let known = &mut *known;
         let mut due = Vec::new();
@@ -193,8 +193,8 @@
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n";
         {
             let mut known = lock(&self.known);
-            let whole = list::write(EndpointListKind::Full, &known.list);
-            outbox.push(&[head.as_bytes(), &whole].concat());
+            let full_list = list::write(EndpointListKind::Full, &known.list);
+            outbox.push(&[head.as_bytes(), &full_list].concat());
             known
                 .list
                 .servers
--- a/crates/testbed/src/membership_poll.rs
+++ b/crates/testbed/src/membership_poll.rs
@@ -18,16 +18,16 @@
 #[derive(Default)]
 struct View {
     address: Option<SocketAddr>, // None: it does not run.
-    life: u64,
+    incarnation: u64,
     states: Vec<Option<MemberState>>,
-    standing: Option<LocalHealth>,
+    local_health: Option<LocalHealth>,
     last: u64, // Number of its last change that was heard.
 }
 
 #[derive(Default)]
 struct All {
     views: Vec<View>,
-    turns: Vec<Turn>,
+    state_changes: Vec<Turn>,
     missed: Vec<String>,
 }
 
@@ -61,7 +61,7 @@
             let views = views.clone();
             std::thread::spawn(move || {
                 while !views.over.load(Ordering::Acquire) {
-                    views.ask(front);
+                    views.poll(front);
                     std::thread::sleep(EVERY);
                 }
             });
@@ -77,8 +77,8 @@
     pub fn runs(&self, front: usize, address: Option<SocketAddr>) {
         let mut all = self.lock();
         let view = &mut all.views[front];
-        (view.address, view.standing, view.last) = (address, None, 0);
-        view.life += 1;
+        (view.address, view.local_health, view.last) = (address, None, 0);
+        view.incarnation += 1;
         view.states.iter_mut().for_each(|state| *state = None);
     }
 
@@ -87,10 +87,10 @@
         self.over.store(true, Ordering::Release);
     }
 
-    fn ask(&self, front: usize) {
+    fn poll(&self, front: usize) {
         let (address, life) = {
             let all = self.lock();
-            (all.views[front].address, all.views[front].life)
+            (all.views[front].address, all.views[front].incarnation)
         };
         let Some(address) = address else { return };
         // One that stands still does not answer; it is asked again.
@@ -110,21 +110,21 @@
         let mut all = self.lock();
         let All {
             views,
-            turns,
+            state_changes: turns,
             missed,
         } = &mut *all;
         let view = &mut views[front];
-        if view.life != life {
+        if view.incarnation != life {
             return; // Another process runs there now.
         }
-        view.standing = Some(standing(members.standing));
+        view.local_health = Some(local_health(members.standing));
         for peer in &members.members {
             if let Some(known) = number(&peer.name).and_then(|of| view.states.get_mut(of)) {
                 *known = Some(state(peer.state));
             }
         }
-        let heard = view.last;
-        for turn in members.turns.iter().filter(|t| t.number > heard) {
+        let last_received = view.last;
+        for turn in members.turns.iter().filter(|t| t.number > last_received) {
             if turn.number != view.last + 1 {
                 missed.push(format!(
                     "front {front}: changes {} to {} were missed",
@@ -164,21 +164,21 @@
     }
 
     /// How one stands.
-    pub fn standing(&self, at: usize) -> Option<LocalHealth> {
-        self.lock().views[at].standing
+    pub fn local_health(&self, at: usize) -> Option<LocalHealth> {
+        self.lock().views[at].local_health
     }
 
     /// Changes from a time on, in the order of their times.
-    pub fn turns(&self, from: u64) -> Vec<Turn> {
-        let mut turns: Vec<Turn> = self
+    pub fn state_changes(&self, from: u64) -> Vec<Turn> {
+        let mut state_changes: Vec<Turn> = self
             .lock()
-            .turns
+            .state_changes
             .iter()
             .filter(|t| t.at >= from)
             .cloned()
             .collect();
-        turns.sort_by_key(|t| t.at);
-        turns
+        state_changes.sort_by_key(|t| t.at);
+        state_changes
     }
 
     /// What could not be heard.
@@ -196,7 +196,7 @@
     }
 }
 
-fn standing(told: OwnStanding) -> LocalHealth {
+fn local_health(told: OwnStanding) -> LocalHealth {
     match told {
         OwnStanding::Alone => LocalHealth::Alone,
         OwnStanding::Connected => LocalHealth::Connected,
--- a/crates/testbed/src/model.rs
+++ b/crates/testbed/src/model.rs
@@ -15,9 +15,9 @@
     /// Streams at most.
     pub places: u32,
     /// Warm after this time ...
-    pub cold: u64,
+    pub slow_start_duration: u64,
     /// ... from this part.
-    pub cold_share: f64,
+    pub slow_start_min_factor: f64,
     /// Falls when sent more than this multiple of its pace ...
     pub fall_multiple: f64,
     /// ... for this time.
@@ -85,13 +85,13 @@
     }
 
     /// Part of its pace that a server has reached.
-    pub fn warmth(&self, server: usize, now: u64) -> f64 {
+    pub fn warm_up_progress(&self, server: usize, now: u64) -> f64 {
         let started = self.servers[server].started;
-        let age = now.saturating_sub(started) as f64 / self.spec.cold.max(1) as f64;
+        let age = now.saturating_sub(started) as f64 / self.spec.slow_start_duration.max(1) as f64;
         if started == 0 || age >= 1.0 {
             return 1.0;
         }
-        self.spec.cold_share + (1.0 - self.spec.cold_share) * age
+        self.spec.slow_start_min_factor + (1.0 - self.spec.slow_start_min_factor) * age
     }
 
     /// A server starts anew, cold and empty.
@@ -105,14 +105,14 @@
 
     /// A set-up arrives; it holds a place from now on until [`Model::end`], unless it is turned away.
     pub fn set_up(&mut self, server: usize, stream: u64, kb: f64, now: u64) -> Taken {
-        let (warmth, asked) = (self.warmth(server, now), self.link_asked(server));
+        let (warmth, asked) = (self.warm_up_progress(server, now), self.link_demand(server));
         let spec = &self.spec;
         let s = &mut self.servers[server];
-        if s.started != 0 && now < s.started + spec.cold {
+        if s.started != 0 && now < s.started + spec.slow_start_duration {
             s.arrivals.push_back(now);
             s.arrivals.retain(|t| now - t < spec.fall);
-            let pace = f64::from(spec.places) / spec.cold as f64 * warmth;
-            if s.arrivals.len() as f64 > spec.fall_multiple * pace * spec.fall as f64 + 1.0 {
+            let rate = f64::from(spec.places) / spec.slow_start_duration as f64 * warmth;
+            if s.arrivals.len() as f64 > spec.fall_multiple * rate * spec.fall as f64 + 1.0 {
                 return Taken::Falls;
             }
         }
@@ -144,13 +144,13 @@
     }
 
     /// What is asked of a server's link over what it gives.
-    pub fn link_asked(&self, server: usize) -> f64 {
+    pub fn link_demand(&self, server: usize) -> f64 {
         let s = &self.servers[server];
         s.streams.values().sum::<f64>() / (s.link_kb / self.slow)
     }
 
     /// The same of its rack's uplink.
-    pub fn uplink_asked(&self, server: usize) -> f64 {
+    pub fn uplink_demand(&self, server: usize) -> f64 {
         let rack = self.servers[server].rack;
         let there = self.servers.iter().filter(|s| s.rack == rack);
         there.flat_map(|s| s.streams.values()).sum::<f64>() / (self.uplinks_kb[rack] / self.slow)
@@ -159,8 +159,8 @@
     /// Share of their rates that sessions at a server get.
     pub fn share(&self, server: usize) -> f64 {
         1.0 / self
-            .link_asked(server)
-            .max(self.uplink_asked(server))
+            .link_demand(server)
+            .max(self.uplink_demand(server))
             .max(1.0)
     }
 }
@@ -175,8 +175,8 @@
             cores: 2,
             work: SECOND / 10,
             places: 20,
-            cold: 10 * SECOND,
-            cold_share: 0.5,
+            slow_start_duration: 10 * SECOND,
+            slow_start_min_factor: 0.5,
             fall_multiple: 2.0,
             fall: SECOND,
             guard: 0.0,
@@ -194,9 +194,12 @@
         m.set_up(0, 1, 500.0, SECOND);
         assert_eq!(m.share(0), 1.0);
         m.set_up(0, 2, 1500.0, SECOND);
-        assert_eq!((m.link_asked(0), m.share(0)), (2.0, 0.5));
+        assert_eq!((m.link_demand(0), m.share(0)), (2.0, 0.5));
         m.set_up(1, 3, 1000.0, SECOND);
-        assert_eq!((m.uplink_asked(1), m.share(1), m.share(2)), (2.0, 0.5, 1.0));
+        assert_eq!(
+            (m.uplink_demand(1), m.share(1), m.share(2)),
+            (2.0, 0.5, 1.0)
+        );
         m.set_rate(0, 2, 0.0);
         m.end(1, 3);
         assert_eq!((m.share(0), m.streams(1)), (1.0, 0));
@@ -221,7 +224,7 @@
     fn a_cold_server_warms_and_falls_when_pushed() {
         let mut m = model();
         m.start(0, 100 * SECOND);
-        assert_eq!(m.warmth(0, 105 * SECOND), 0.75);
+        assert_eq!(m.warm_up_progress(0, 105 * SECOND), 0.75);
         let sent = |m: &mut Model, n| m.set_up(0, n, 1.0, 100 * SECOND + 1);
         assert!((0..3).all(|n| matches!(sent(&mut m, n), Taken::DoneAt(_))));
         assert_eq!(sent(&mut m, 3), Taken::Falls);
--- a/crates/testbed/src/player.rs
+++ b/crates/testbed/src/player.rs
@@ -1,6 +1,6 @@
 //! Scripted players: they open a session over WebSocket, fetch its media, and come again as viewers do.
 use crate::loss_analysis::Losses;
-use crate::record::{Recorder, Seen, Told};
+use crate::record::{PlayerReply, Recorder, Seen};
 use crankpaddle_http::head;
 use crankpaddle_net::exchange::HttpExchange;
 use crankpaddle_net::{clock, sleep, IdleSweeper, Socket, WriteBuffer};
@@ -120,9 +120,9 @@
         while self.ready.is_empty() {
             match self.context.read(&mut Stream(&self.outbox)) {
                 Ok(Message::Text(text)) => {
-                    let said = client::read(&text)
+                    let event = client::read(&text)
                         .map_err(|e| io::Error::new(ErrorKind::InvalidData, e))?;
-                    self.ready.extend(said);
+                    self.ready.extend(event);
                 }
                 Ok(_) => {}
                 Err(tungstenite::Error::Io(e)) if e.kind() == ErrorKind::WouldBlock => {
@@ -174,7 +174,7 @@
     /// Part that comes again after a refusal or a break.
     pub returns: f64,
     /// After so long, where no advice was given; nanoseconds.
-    pub back_after: u64,
+    pub return_after: u64,
     /// Part that keeps the advice.
     pub honour: f64,
     /// Part whose connection breaks mid-attempt.
@@ -203,7 +203,7 @@
 }
 
 /// What all players share.
-pub struct Crowd {
+pub struct PlayerPool {
     /// Where all is recorded.
     pub recorder: Recorder,
     /// How they behave.
@@ -225,17 +225,17 @@
     /// He watched as long as he wanted.
     Watched,
     /// Refused, failed where he may ask again, or broken off; with advice in nanoseconds.
-    Back(Option<u64>),
+    Returning(Option<u64>),
     /// He stays away.
-    Away,
+    Absent,
     /// His front is gone, and he did not hear what became of his session.
     Lost,
 }
 
-impl Crowd {
+impl PlayerPool {
     /// Nobody is there yet.
-    pub fn new(recorder: Recorder, habits: Habits) -> Crowd {
-        Crowd {
+    pub fn new(recorder: Recorder, habits: Habits) -> PlayerPool {
+        PlayerPool {
             recorder,
             habits,
             sweeper: IdleSweeper::start(Duration::from_millis(50)),
@@ -249,8 +249,8 @@
     }
 
     /// Players that lose their front look for it here.
-    pub fn finding(self, finder: Finder) -> Crowd {
-        Crowd { finder, ..self }
+    pub fn finding(self, finder: Finder) -> PlayerPool {
+        PlayerPool { finder, ..self }
     }
 
     /// All leave as soon as they have their answer.
@@ -314,15 +314,17 @@
                 }
             }
             let advice = match came {
-                Came::Watched | Came::Away | Came::Lost => break,
-                Came::Back(advice) => advice,
+                Came::Watched | Came::Absent | Came::Lost => break,
+                Came::Returning(advice) => advice,
             };
             if !rng.random_bool(self.habits.returns) {
                 break;
             }
-            let own = (self.habits.back_after as f64 * rng.random_range(0.7..1.3)) as u64;
-            let kept = advice.filter(|_| rng.random_bool(self.habits.honour));
-            sleep(Duration::from_nanos(kept.map_or(own, |a| a.max(own / 4))));
+            let own = (self.habits.return_after as f64 * rng.random_range(0.7..1.3)) as u64;
+            let followed = advice.filter(|_| rng.random_bool(self.habits.honour));
+            sleep(Duration::from_nanos(
+                followed.map_or(own, |a| a.max(own / 4)),
+            ));
             again = true;
         }
         self.losses().leaves(visit.seed);
@@ -343,7 +345,7 @@
             return if self.habits.keeps_key {
                 Came::Lost
             } else {
-                Came::Back(None)
+                Came::Returning(None)
             };
         };
         let open = Open {
@@ -356,28 +358,28 @@
             again,
             ..Open::default()
         };
-        let gives_up = clock::now() + visit.patience;
-        let mut call = self.ask(&mut client, front.0, &open, visit, gives_up);
+        let deadline = clock::now() + visit.patience;
+        let mut call = self.send_open(&mut client, front.0, &open, visit, deadline);
         if rng.random_bool(self.habits.reconnect) {
             sleep(Duration::from_nanos(rng.random_range(1..150) * MILLISECOND));
             // Same front: another knows nothing of the key, and for a paid class would set it up again.
             client.cut();
             match self.drain(&mut client, call) {
-                Some(Told::Plays) | None => self.recorder.see(Seen::Broke { call }),
-                Some(_) => return Came::Away,
+                Some(PlayerReply::Plays) | None => self.recorder.see(Seen::Disconnected { call }),
+                Some(_) => return Came::Absent,
             }
             let Ok(fresh) = Client::connect(&front.1, &self.sweeper) else {
-                return Came::Back(None);
+                return Came::Returning(None);
             };
             client = fresh;
-            call = self.ask(&mut client, front.0, &open, visit, gives_up);
+            call = self.send_open(&mut client, front.0, &open, visit, deadline);
         }
-        let said = self.answer(&mut client, call, gives_up);
-        if said.is_none() && self.habits.keeps_key && clock::now() < gives_up + LISTEN_ON {
-            self.recorder.see(Seen::Broke { call });
+        let event = self.answer(&mut client, call, deadline);
+        if event.is_none() && self.habits.keeps_key && clock::now() < deadline + LISTEN_ON {
+            self.recorder.see(Seen::Disconnected { call });
             return Came::Lost;
         }
-        match said {
+        match event {
             Some(ClientEvent::Plays { session, media, .. }) => {
                 self.losses().watches(visit.seed, visit.class.0);
                 let time = visit.watch.min(wants.saturating_sub(clock::now()));
@@ -390,38 +392,38 @@
             // What he had is lost with his server: he buys anew.
             Some(ClientEvent::Failed { .. }) if again && self.habits.keeps_key => {
                 client.close();
-                Came::Back(None)
+                Came::Returning(None)
             }
             Some(ClientEvent::Refused { retry_after_ms, .. }) => {
                 client.close();
-                Came::Back(retry_after_ms.map(|ms| ms * MILLISECOND))
+                Came::Returning(retry_after_ms.map(|ms| ms * MILLISECOND))
             }
             Some(_) => {
                 client.close();
-                Came::Away
+                Came::Absent
             }
-            None => Came::Away,
+            None => Came::Absent,
         }
     }
 
-    fn ask(
+    fn send_open(
         &self,
         client: &mut Client,
         front: u32,
         open: &Open,
         visit: &Visit,
-        gives_up: u64,
+        deadline: u64,
     ) -> u64 {
         let call = self.calls.fetch_add(1, Ordering::Relaxed);
         let (bill, class) = (bill(&open.key), visit.class.0);
-        self.recorder.see(Seen::Asked {
+        self.recorder.see(Seen::OpenSent {
             call,
             front,
             bill,
             class,
-            gives_up,
+            deadline,
         });
-        let left = gives_up.saturating_sub(clock::now());
+        let left = deadline.saturating_sub(clock::now());
         let open = Open {
             give_up_ms: Some(left / MILLISECOND),
             ..open.clone()
@@ -431,10 +433,10 @@
     }
 
     /// An answer that had come before the connection was cut.
-    fn drain(&self, client: &mut Client, call: u64) -> Option<Told> {
+    fn drain(&self, client: &mut Client, call: u64) -> Option<PlayerReply> {
         while let Ok(Some(said)) = client.poll() {
-            if let Some(told) = told(&said, call) {
-                self.recorder.see(Seen::Told { call, told });
+            if let Some(told) = reply_of(&said, call) {
+                self.recorder.see(Seen::CallAnswered { call, reply: told });
                 return Some(told);
             }
         }
@@ -446,8 +448,8 @@
         loop {
             match client.next(gives_up + LISTEN_ON) {
                 Ok(said) => {
-                    if let Some(told) = told(&said, call) {
-                        self.recorder.see(Seen::Told { call, told });
+                    if let Some(told) = reply_of(&said, call) {
+                        self.recorder.see(Seen::CallAnswered { call, reply: told });
                         return Some(said);
                     }
                 }
@@ -463,11 +465,11 @@
             .strip_prefix("http://")
             .and_then(|m| m.split_once('/'))
         else {
-            return Came::Away;
+            return Came::Absent;
         };
         let name = path.split('/').nth(1).unwrap_or("").to_owned();
         let Ok(address) = address.parse::<SocketAddr>() else {
-            return Came::Away;
+            return Came::Absent;
         };
         let mut bytes = 0u64;
         let target = format!("/{path}");
@@ -498,7 +500,7 @@
         self.recorder.see(Seen::Fetched { name, bytes });
         if let Some(advice) = over {
             client.close();
-            return Came::Back(advice);
+            return Came::Returning(advice);
         }
         let call = self.calls.fetch_add(1, Ordering::Relaxed);
         let _ = client.send(client::close(call, session)); // A lost front's sessions are over too.
@@ -547,13 +549,13 @@
 }
 
 /// What an answer to this call tells; `None` for other messages.
-fn told(said: &ClientEvent, call: u64) -> Option<Told> {
+fn reply_of(said: &ClientEvent, call: u64) -> Option<PlayerReply> {
     match said {
-        ClientEvent::Plays { id, .. } if *id == call => Some(Told::Plays),
-        ClientEvent::Refused { id, .. } if *id == call => Some(Told::Refused),
-        ClientEvent::Failed { id, .. } if *id == call => Some(Told::Failed),
-        ClientEvent::Superseded { id } if *id == call => Some(Told::Superseded),
-        ClientEvent::Error { id, .. } if *id == Some(call) => Some(Told::Error),
+        ClientEvent::Plays { id, .. } if *id == call => Some(PlayerReply::Plays),
+        ClientEvent::Refused { id, .. } if *id == call => Some(PlayerReply::Refused),
+        ClientEvent::Failed { id, .. } if *id == call => Some(PlayerReply::Failed),
+        ClientEvent::Superseded { id } if *id == call => Some(PlayerReply::Superseded),
+        ClientEvent::Error { id, .. } if *id == Some(call) => Some(PlayerReply::Error),
         _ => None,
     }
 }
--- a/crates/testbed/src/record.rs
+++ b/crates/testbed/src/record.rs
@@ -22,7 +22,7 @@
 /// How a player's call was answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Told {
+pub enum PlayerReply {
     /// It plays.
     Plays,
     /// Refused: nothing ran.
@@ -40,7 +40,8 @@
 #[serde(tag = "what", rename_all = "snake_case")]
 pub enum Seen {
     /// A player's open left for a front.
-    Asked {
+    #[serde(rename = "asked")] // As recordings on disk have it.
+    OpenSent {
         /// The call, unique in a day.
         call: u64,
         /// Which front, by its number.
@@ -50,17 +51,21 @@
         /// Class by number.
         class: u8,
         /// It gives up at this time.
-        gives_up: u64,
+        #[serde(rename = "gives_up")]
+        deadline: u64,
     },
     /// The player got an answer.
-    Told {
+    #[serde(rename = "told")]
+    CallAnswered {
         /// The call.
         call: u64,
         /// Which.
-        told: Told,
+        #[serde(rename = "told")]
+        reply: PlayerReply,
     },
     /// A player's connection broke before its answer (it broke it itself, or the front died): none is owed on it.
-    Broke {
+    #[serde(rename = "broke")]
+    Disconnected {
         /// The call.
         call: u64,
     },
@@ -154,8 +159,9 @@
     Stalled {
         /// Which front, by its number.
         front: u32,
-        /// Whether it stands.
-        stands: bool,
+        /// Whether it is stopped.
+        #[serde(rename = "stands")]
+        stopped: bool,
     },
 }
 
--- a/crates/testbed/src/scenario_runner.rs
+++ b/crates/testbed/src/scenario_runner.rs
@@ -1,10 +1,10 @@
 //! Plays a scripted day: fronts as processes of their own, all else as stand-ins in this one.
 use crate::crossing::{crossed, Crossed};
-use crate::fault_mode::Astray;
+use crate::fault_mode::ResponseFault;
 use crate::invariant_checker::{judge, Rules, Verdict};
 use crate::list_service::{entry, ListService};
 use crate::membership_poll::Views;
-use crate::player::{Crowd, Habits, Visit};
+use crate::player::{Habits, PlayerPool, Visit};
 use crate::process::{end_all, with_workers, Process};
 use crate::record::{Record, Recorder, Seen};
 use crate::script::{fleet_config, front_block, Day, Fault, Kind};
@@ -68,7 +68,7 @@
     /// What crossed and what it was worth, by the servers' own records.
     pub crossed: Crossed,
     /// The fronts' reports of traffic, together.
-    pub told: TrafficReport,
+    pub reported: TrafficReport,
     /// When arrivals began, nanoseconds of the laboratory's clock.
     pub start: u64,
 }
@@ -80,7 +80,7 @@
         for (key, bytes) in &self.crossed.bytes {
             all.entry(key.clone()).or_default().0 += bytes;
         }
-        for f in &self.told.flows {
+        for f in &self.reported.flows {
             all.entry((f.from.clone(), f.to.clone(), f.class.clone()))
                 .or_default()
                 .1 += f.bytes;
@@ -152,7 +152,7 @@
                 Kind::FastErrors(part) => fleet.set_mode(server, |m| m.errors = part),
                 Kind::BillAndReset(part) => fleet.set_mode(server, |m| m.bills_and_resets = part),
                 Kind::Trickle => fleet.set_mode(server, |m| m.trickles = true),
-                Kind::Astray(how) => fleet.set_mode(server, |m| m.astray = how),
+                Kind::ResponseFault(how) => fleet.set_mode(server, |m| m.response_fault = how),
                 Kind::Vanish => {
                     fleet.set_mode(server, |m| m.vanished = true);
                     self.listed(server, EndpointState::Gone);
@@ -173,7 +173,7 @@
                 for &front in which {
                     self.recorder.see(Seen::Stalled {
                         front,
-                        stands: true,
+                        stopped: true,
                     });
                     fronts[front as usize].process.signal(Signal::STOP);
                 }
@@ -190,7 +190,9 @@
                 Kind::FastErrors(_) => fleet.set_mode(server, |m| m.errors = 0.0),
                 Kind::BillAndReset(_) => fleet.set_mode(server, |m| m.bills_and_resets = 0.0),
                 Kind::Trickle => fleet.set_mode(server, |m| m.trickles = false),
-                Kind::Astray(_) => fleet.set_mode(server, |m| m.astray = Astray::default()),
+                Kind::ResponseFault(_) => {
+                    fleet.set_mode(server, |m| m.response_fault = ResponseFault::default());
+                }
                 Kind::Vanish | Kind::Crash | Kind::Drain => {
                     if fault.kind == Kind::Drain {
                         fleet.end_sessions(server, false);
@@ -211,7 +213,7 @@
                     fronts[front as usize].process.signal(Signal::CONT);
                     self.recorder.see(Seen::Stalled {
                         front,
-                        stands: false,
+                        stopped: false,
                     });
                 }
             }
@@ -255,10 +257,10 @@
         if !rng.random_bool((day.rate_at(time) / peak).min(1.0)) {
             continue; // Thinned: the rate is lower now.
         }
-        let crowd = day
-            .crowd_at(time)
+        let player_pool = day
+            .load_surge_at(time)
             .filter(|(_, part)| rng.random_bool(*part));
-        let title = crowd
+        let title = player_pool
             .map(|(title, _)| title % titles.len())
             .or_else(|| pick(&mut rng, &weights))
             .unwrap_or(0);
@@ -297,7 +299,7 @@
 pub fn habits(day: &Day) -> Habits {
     Habits {
         returns: day.returns,
-        back_after: day.back_after,
+        return_after: day.return_after,
         honour: day.honour,
         reconnect: day.reconnect,
         keeps_key: false,
@@ -353,7 +355,7 @@
     };
     let start = clock::now();
     let played = run(day, play, &stage, &fronts);
-    let told = merge(fronts.iter().filter_map(|f| traffic(&f.process.address)));
+    let reported = merge(fronts.iter().filter_map(|f| traffic(&f.process.address)));
     views.iter().for_each(Views::end);
     // Whatever happened, no front is left behind.
     let mut faults = Vec::new();
@@ -371,13 +373,13 @@
         faults,
         bytes,
         crossed,
-        told,
+        reported,
         start,
     })
 }
 
 fn run(day: &Day, play: &Play, stage: &Stage, fronts: &[Front]) -> io::Result<Vec<String>> {
-    let crowd = Arc::new(Crowd::new(stage.recorder.clone(), habits(day)));
+    let player_pool = Arc::new(PlayerPool::new(stage.recorder.clone(), habits(day)));
     let mut moments: Vec<(u64, bool, &Fault)> = day
         .faults
         .iter()
@@ -429,15 +431,15 @@
             visit.fronts = halls[(visit.seed % zones as u64) as usize].clone();
             // The day is not kept open by those who would watch for minutes.
             visit.watch = visit.watch.min(day.length - next + WATCH_ON);
-            let crowd = crowd.clone();
+            let player_pool = player_pool.clone();
             let until = start + day.length;
-            spawn(Stack::Usual, move || crowd.visit(&visit, until));
+            spawn(Stack::Usual, move || player_pool.visit(&visit, until));
         }
     }
     let mut faults = Vec::new();
-    while crowd.there() > 0 {
+    while player_pool.there() > 0 {
         if clock::now() > last {
-            faults.push(format!("{} players never left", crowd.there()));
+            faults.push(format!("{} players never left", player_pool.there()));
             break;
         }
         std::thread::sleep(Duration::from_millis(50));
@@ -453,8 +455,11 @@
             stage.fleet.streams()
         ));
     }
-    if crowd.found_no_front() > 0 {
-        faults.push(format!("{} tries found no front", crowd.found_no_front()));
+    if player_pool.found_no_front() > 0 {
+        faults.push(format!(
+            "{} tries found no front",
+            player_pool.found_no_front()
+        ));
     }
     Ok(faults)
 }
--- a/crates/testbed/src/script.rs
+++ b/crates/testbed/src/script.rs
@@ -1,5 +1,5 @@
 //! Days as files: protobuf text format, checked with line, column and what is allowed.
-use crate::fault_mode::Astray;
+use crate::fault_mode::ResponseFault;
 use crankpaddle_config::{Config, Problem};
 use crankpaddle_textproto::Checks;
 
@@ -55,7 +55,7 @@
     /// So many times more players come.
     Burst(f64),
     /// A crowd for this title by number, an added part of the players.
-    Crowd(usize, f64),
+    LoadSurge(usize, f64),
     /// The list is told later by so many nanoseconds.
     ListLate(u64),
     /// The list service is gone.
@@ -69,7 +69,7 @@
     /// Answers come byte by byte.
     Trickle,
     /// What servers tell unasked goes astray.
-    Astray(Astray),
+    ResponseFault(ResponseFault),
 }
 
 /// Something that goes wrong for a time; nanoseconds from the start of the day.
@@ -119,7 +119,7 @@
     /// Part of the viewers that come again.
     pub returns: f64,
     /// After so long without advice.
-    pub back_after: u64,
+    pub return_after: u64,
     /// Part that keeps the advice.
     pub honour: f64,
     /// Part that reconnects mid-attempt.
@@ -244,7 +244,7 @@
         watch: c.time("traffic.watch", &traffic.watch),
         zipf: c.within("traffic.zipf", traffic.zipf, 0.0, 5.0),
         returns: c.within("traffic.returns", traffic.returns, 0.0, 1.0),
-        back_after: c.time("traffic.back_after", &traffic.back_after),
+        return_after: c.time("traffic.back_after", &traffic.back_after),
         honour: c.within("traffic.honour", traffic.honour, 0.0, 1.0),
         reconnect: c.within("traffic.reconnect", traffic.reconnect, 0.0, 1.0),
         faults,
@@ -309,7 +309,7 @@
         Some(Raw::Vanish(_)) => Kind::Vanish,
         Some(Raw::Slow(f)) => Kind::Slow(c.within(&path("slow.by"), f.by, 1.0, 100.0)),
         Some(Raw::Burst(f)) => Kind::Burst(c.within(&path("burst.times"), f.times, 0.0, 100.0)),
-        Some(Raw::Crowd(f)) => Kind::Crowd(f.title as usize, part(c, "crowd.part", f.part)),
+        Some(Raw::Crowd(f)) => Kind::LoadSurge(f.title as usize, part(c, "crowd.part", f.part)),
         Some(Raw::ListLate(f)) => Kind::ListLate(c.time(&path("list_late.by"), &f.by)),
         Some(Raw::ListGone(_)) => Kind::ListGone,
         Some(Raw::Stall(f)) => {
@@ -323,14 +323,14 @@
         Some(Raw::Drain(_)) => Kind::Drain,
         Some(Raw::BillAndReset(f)) => Kind::BillAndReset(part(c, "bill_and_reset.part", f.part)),
         Some(Raw::Trickle(_)) => Kind::Trickle,
-        Some(Raw::Astray(f)) => Kind::Astray(Astray {
+        Some(Raw::Astray(f)) => Kind::ResponseFault(ResponseFault {
             late: if f.late.is_empty() {
                 0
             } else {
                 c.time(&path("astray.late"), &f.late)
             },
             lost: part(c, "astray.lost", f.lost),
-            doubled: part(c, "astray.doubled", f.doubled),
+            duplicated: part(c, "astray.doubled", f.doubled),
         }),
     };
     Fault {
@@ -356,12 +356,12 @@
     }
 
     /// The crowd at a time of the day: its title and its added part.
-    pub fn crowd_at(&self, at: u64) -> Option<(usize, f64)> {
+    pub fn load_surge_at(&self, at: u64) -> Option<(usize, f64)> {
         self.faults
             .iter()
             .filter(|f| (f.at..f.at + f.length).contains(&at))
             .find_map(|f| match f.kind {
-                Kind::Crowd(title, part) => Some((title, part)),
+                Kind::LoadSurge(title, part) => Some((title, part)),
                 _ => None,
             })
     }
--- a/crates/testbed/src/server/mod.rs
+++ b/crates/testbed/src/server/mod.rs
@@ -117,8 +117,8 @@
             cores: layout.cores,
             work: layout.work,
             places: s.stream_capacity[0],
-            cold: s.slow_start_duration,
-            cold_share: s.slow_start_min_factor,
+            slow_start_duration: s.slow_start_duration,
+            slow_start_min_factor: s.slow_start_min_factor,
             fall_multiple: s.overload_multiple,
             fall: s.overload_window,
             guard: s.server_rejection_threshold,
@@ -149,7 +149,7 @@
         });
         for (server, listener) in fleet.servers.iter().zip(listeners) {
             server.listen(&fleet, listener);
-            server.tell(&fleet);
+            server.notify_fronts(&fleet);
         }
         Ok(fleet)
     }
@@ -201,7 +201,7 @@
     }
 
     /// A server loses what it wrote down of former lives. It holds what plays.
-    pub fn lose_book(&self, id: u32) {
+    pub fn lose_inventory(&self, id: u32) {
         lock(&self.servers[id as usize].ledger).lose();
     }
 
@@ -216,7 +216,7 @@
         let playing = |(name, s): (&String, &Session)| s.plays.then(|| name.clone());
         let names: Vec<String> = lock(&server.sessions).iter().filter_map(playing).collect();
         for name in names {
-            server.say_over(&name, finished);
+            server.notify_session_over(&name, finished);
             server.end(self, &name);
         }
     }
@@ -305,11 +305,11 @@
         Some(session.bytes)
     }
 
-    fn say_over(&self, name: &str, finished: bool) {
-        let held = lock(&self.sessions)
+    fn notify_session_over(&self, name: &str, finished: bool) {
+        let stored = lock(&self.sessions)
             .get(name)
             .map(|s| (s.front.clone(), s.bytes));
-        let Some((front, bytes)) = held else { return };
+        let Some((front, bytes)) = stored else { return };
         let outbox = lock(&self.notes).get(&front).cloned();
         if let Some(outbox) = outbox {
             let over = SessionOver {
@@ -347,7 +347,7 @@
                     false => return,
                 },
                 ("GET", ["events"]) => return self.events(&socket, query),
-                ("GET", ["sessions"]) => self.book(fleet, query),
+                ("GET", ["sessions"]) => self.inventory(fleet, query),
                 _ => Problem::of(404, format!("nothing at {path}")).response(&[]),
             };
             let sent = if self.mode().trickles {
--- a/crates/testbed/src/server/sessions.rs
+++ b/crates/testbed/src/server/sessions.rs
@@ -141,8 +141,8 @@
         let (link, uplink) = {
             let model = lock(&fleet.model);
             (
-                model.link_asked(self.id as usize),
-                model.uplink_asked(self.id as usize),
+                model.link_demand(self.id as usize),
+                model.uplink_demand(self.id as usize),
             )
         };
         let metrics = orca::write(&[
@@ -161,9 +161,9 @@
     }
 
     /// What it knows of one front.
-    pub(super) fn book(&self, fleet: &Fleet, query: &str) -> Vec<u8> {
+    pub(super) fn inventory(&self, fleet: &Fleet, query: &str) -> Vec<u8> {
         let front = query.strip_prefix("front=").unwrap_or("");
-        let held = |(name, s): (&String, &Session)| session_inventory::InventorySession {
+        let active = |(name, s): (&String, &Session)| session_inventory::InventorySession {
             session: name.clone(),
             bill: s.bill.clone(),
             tenant: s.tenant.clone(),
@@ -180,11 +180,11 @@
                 .iter()
                 .filter(move |(_, s)| s.front == front && s.plays == plays)
         };
-        let held = of_front(true).map(held).collect();
+        let active = of_front(true).map(active).collect();
         let under_way = of_front(false).map(|(name, _)| name.clone()).collect();
         let age = clock::now().saturating_sub(self.started.load(Ordering::Acquire));
-        let told = lock(&self.ledger).book(front, age / MILLISECOND, held, under_way);
-        let body = serde_json::to_vec(&told).unwrap_or_default();
+        let inventory = lock(&self.ledger).inventory(front, age / MILLISECOND, active, under_way);
+        let body = serde_json::to_vec(&inventory).unwrap_or_default();
         head::response(200, &[("content-type", "application/json")], &body)
     }
 
--- a/crates/testbed/src/server/streams.rs
+++ b/crates/testbed/src/server/streams.rs
@@ -38,10 +38,10 @@
             sleep(Duration::from_nanos(due.saturating_sub(clock::now())));
             let n = piece.len().min(left);
             let silent = self.mode().vanished || self.mode().hangs;
-            let held = lock(&self.sessions)
+            let active = lock(&self.sessions)
                 .get_mut(name)
                 .map(|s| s.bytes += if silent { 0 } else { n as u64 });
-            if held.is_none() {
+            if active.is_none() {
                 return false;
             }
             if silent {
@@ -72,7 +72,7 @@
             .for_each(|(n, v)| first.extend(format!("{n}: {v}\r\n").bytes()));
         first.extend(b"\r\n");
         let sessions = lock(&self.sessions);
-        let held = sessions
+        let active = sessions
             .iter()
             .filter(|(_, s)| s.front == front && s.plays)
             .map(|(n, _)| n.clone());
@@ -80,7 +80,7 @@
         let boot = self.boot.load(Ordering::Acquire).to_string();
         let hello = StreamStart {
             boot,
-            sessions: held.collect(),
+            sessions: active.collect(),
             age_ms: Some(age),
         };
         first.extend(event_stream::write("hello", &hello));
--- a/crates/testbed/src/server_reports.rs
+++ b/crates/testbed/src/server_reports.rs
@@ -1,6 +1,6 @@
 //! What a stand-in server tells fronts unasked: short delivery, links, counts of bytes and of what crosses; each as late
 //! as the configuration says, and later, lost or doubled where a day's script says so.
-use crate::fault_mode::Astray;
+use crate::fault_mode::ResponseFault;
 use crate::server::{lock, Fleet, Server};
 use crankpaddle_front::jitter;
 use crankpaddle_http::sse;
@@ -29,11 +29,11 @@
         jitter(self.drawn)
     }
 
-    fn send(&mut self, due: u64, astray: Astray, front: &str, bytes: &[u8]) {
+    fn send(&mut self, due: u64, astray: ResponseFault, front: &str, bytes: &[u8]) {
         let copies = if self.dice() < astray.lost {
             0
         } else {
-            1 + usize::from(self.dice() < astray.doubled)
+            1 + usize::from(self.dice() < astray.duplicated)
         };
         for _ in 0..copies {
             let later = (astray.late as f64 * (0.5 + 0.5 * self.dice())) as u64;
@@ -80,7 +80,7 @@
     }
 
     /// Tells until the process ends.
-    pub(crate) fn tell(self: &Arc<Server>, fleet: &Arc<Fleet>) {
+    pub(crate) fn notify_fronts(self: &Arc<Server>, fleet: &Arc<Fleet>) {
         let (server, fleet) = (self.clone(), fleet.clone());
         spawn(Stack::Usual, move || {
             let s = &fleet.config.settings;
@@ -95,12 +95,12 @@
                     words.words.clear();
                     continue;
                 }
-                let (now, astray) = (clock::now(), server.mode().astray);
+                let (now, astray) = (clock::now(), server.mode().response_fault);
                 let due = now + s.update_delay;
                 let (link, uplink, share) = {
                     let model = lock(&fleet.model);
                     let n = server.id as usize;
-                    (model.link_asked(n), model.uplink_asked(n), model.share(n))
+                    (model.link_demand(n), model.uplink_demand(n), model.share(n))
                 };
                 let mut of_front: BTreeMap<String, String> = BTreeMap::new();
                 for (name, session) in lock(&server.sessions).iter().filter(|(_, s)| s.plays) {
@@ -109,24 +109,24 @@
                         .or_insert_with(|| name.clone());
                 }
                 let short = now >= delivered_at + 1000 * MILLISECOND && share < 0.98;
-                let tell = now >= link_at + s.update_interval;
+                let notify_fronts = now >= link_at + s.update_interval;
                 for (front, session) in of_front {
-                    let told = SessionUpdateMessage {
+                    let update = SessionUpdateMessage {
                         session,
                         delivered: short.then_some(share),
-                        link: tell.then_some(link),
-                        uplink: tell.then_some(uplink),
+                        link: notify_fronts.then_some(link),
+                        uplink: notify_fronts.then_some(uplink),
                         rung: None,
                     };
-                    if short || tell {
-                        words.send(due, astray, &front, &event_stream::write("note", &told));
+                    if short || notify_fronts {
+                        words.send(due, astray, &front, &event_stream::write("note", &update));
                     }
                 }
                 let streams: Vec<_> = lock(&server.notes)
                     .iter()
                     .map(|(f, o)| (f.clone(), o.clone()))
                     .collect();
-                if tell {
+                if notify_fronts {
                     let crossing = server.crossing(&fleet);
                     for (front, _) in &streams {
                         let traffic = TrafficCounts {
@@ -142,7 +142,7 @@
                     }
                 }
                 delivered_at = if short { now } else { delivered_at };
-                link_at = if tell { now } else { link_at };
+                link_at = if notify_fronts { now } else { link_at };
                 let due = words.due(now);
                 for (front, outbox) in streams {
                     outbox.push(sse::HEARTBEAT);
--- a/crates/testbed/src/setup_log.rs
+++ b/crates/testbed/src/setup_log.rs
@@ -44,17 +44,17 @@
         self.ran.entry(order.front.clone()).or_default().push(ran);
     }
 
-    pub(crate) fn book(
+    pub(crate) fn inventory(
         &self,
         front: &str,
         age_ms: u64,
-        held: Vec<InventorySession>,
+        active: Vec<InventorySession>,
         under_way: Vec<String>,
     ) -> SessionInventory {
         SessionInventory {
             boots: self.boots.clone(),
             age_ms,
-            held,
+            held: active,
             under_way,
             ran: self.ran.get(front).cloned().unwrap_or_default(),
         }
--- a/crates/testbed/src/udp_proxy.rs
+++ b/crates/testbed/src/udp_proxy.rs
@@ -82,7 +82,7 @@
             sockets,
             poll,
             homes: vec![None; size],
-            weather: Weather::fair((0, 0)),
+            conditions: Weather::fair((0, 0)),
             rng: oorandom::Rand64::new(u128::from(seed)),
             under_way: BinaryHeap::new(),
             count: 0,
@@ -133,7 +133,7 @@
         )
     }
 
-    fn tell(&self, change: Change) {
+    fn notify(&self, change: Change) {
         self.changes
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -142,12 +142,12 @@
 
     /// Changes what becomes of datagrams that are read from now on, some milliseconds late.
     pub fn change(&self, change: impl FnOnce(&mut Weather) + Send + 'static) {
-        self.tell(Box::new(|carrier| change(&mut carrier.weather)));
+        self.notify(Box::new(|carrier| change(&mut carrier.conditions)));
     }
 
     /// A front is reached here, as it says itself: one that waits to be found sends nothing at first.
     pub fn home(&self, front: usize, home: SocketAddr) {
-        self.tell(Box::new(move |carrier| carrier.homes[front] = Some(home)));
+        self.notify(Box::new(move |carrier| carrier.homes[front] = Some(home)));
     }
 
     /// Datagrams and bytes that a front sent.
@@ -166,7 +166,7 @@
     sockets: Sockets,
     poll: OwnedFd,
     homes: Vec<Option<SocketAddr>>,
-    weather: Weather,
+    conditions: Weather,
     rng: oorandom::Rand64,
     under_way: BinaryHeap<Reverse<(u64, u64, Datagram)>>,
     count: u64,
@@ -224,7 +224,7 @@
                     self.sent[from].1.fetch_add(n as u64, Ordering::Relaxed);
                     self.homes[from] = Some(home);
                     for at in self
-                        .weather
+                        .conditions
                         .arrivals(clock::now(), (from, to), n, &mut self.rng)
                     {
                         self.count += 1;
@@ -242,11 +242,11 @@
     }
 
     fn deliver(&self, from: usize, to: usize, bytes: &[u8]) {
-        let back = self
+        let restored = self
             .sockets
             .get(to * self.size + from)
             .and_then(Option::as_ref);
-        if let (Some(socket), Some(home)) = (back, self.homes[to]) {
+        if let (Some(socket), Some(home)) = (restored, self.homes[to]) {
             let _ = socket.send_to(bytes, home); // What can't go out at once is lost, as on any net.
         }
     }
--- a/crates/testbed/tests/breaches.rs
+++ b/crates/testbed/tests/breaches.rs
@@ -1,6 +1,6 @@
 //! The judge is judged: for each rule a recorded breach that it must find, and beside it the like that is none.
 use crankpaddle_testbed::invariant_checker::{judge, ClassRule, Rules, Verdict};
-use crankpaddle_testbed::record::{Record, Reply, Seen, Told};
+use crankpaddle_testbed::record::{PlayerReply, Record, Reply, Seen};
 
 const MS: u64 = 1_000_000;
 const SECOND: u64 = 1000 * MS;
@@ -15,8 +15,8 @@
     Rules {
         classes: vec![class("paid", true, 1, 2), class("free", false, 0, 0)],
         drain_grace: SECOND,
-        cold: 10 * SECOND,
-        cold_share: 0.5,
+        slow_start_duration: 10 * SECOND,
+        slow_start_min_factor: 0.5,
         fall_multiple: 2.0,
         fall: SECOND,
         retry: Some((1.0, 0.0, 10 * SECOND)),
@@ -35,18 +35,18 @@
     let gives_up = 1000 * SECOND + (ms + 4000) * MS;
     at(
         ms,
-        Seen::Asked {
+        Seen::OpenSent {
             call,
             front: 0,
             bill: bill.into(),
             class,
-            gives_up,
+            deadline: gives_up,
         },
     )
 }
 
-fn told(ms: u64, call: u64, told: Told) -> Record {
-    at(ms, Seen::Told { call, told })
+fn told(ms: u64, call: u64, told: PlayerReply) -> Record {
+    at(ms, Seen::CallAnswered { call, reply: told })
 }
 
 fn sent(ms: u64, name: &str, bill: &str, class: &str, server: u32) -> Record {
@@ -98,7 +98,13 @@
 }
 
 fn stalled(ms: u64, stands: bool) -> Record {
-    at(ms, Seen::Stalled { front: 0, stands })
+    at(
+        ms,
+        Seen::Stalled {
+            front: 0,
+            stopped: stands,
+        },
+    )
 }
 
 fn broken(records: &[Record]) -> Vec<u8> {
@@ -120,7 +126,7 @@
         sent(5, "n1", "b1", "paid", 1),
         billed(20, "n1", "b1"),
         replied(25, "n1", Reply::Plays),
-        told(30, 1, Told::Plays),
+        told(30, 1, PlayerReply::Plays),
     ]
 }
 
@@ -137,29 +143,33 @@
         played: 1,
         ..Verdict::default()
     };
-    assert_eq!((verdict.kept(), verdict), (6, want));
+    assert_eq!((verdict.passed_rule_count(), verdict), (6, want));
 }
 
 #[test]
 fn lost_late_and_doubled_answers_are_found() {
     assert_eq!(with(&[asked(0, 2, "b2", 1)]), [1], "never answered");
     assert_eq!(
-        with(&[asked(0, 2, "b2", 1), at(99, Seen::Broke { call: 2 })]),
+        with(&[asked(0, 2, "b2", 1), at(99, Seen::Disconnected { call: 2 })]),
         [0u8; 0],
         "the player left"
     );
-    assert_eq!(with(&[told(40, 1, Told::Plays)]), [1], "answered twice");
     assert_eq!(
-        with(&[told(40, 9, Told::Failed)]),
+        with(&[told(40, 1, PlayerReply::Plays)]),
+        [1],
+        "answered twice"
+    );
+    assert_eq!(
+        with(&[told(40, 9, PlayerReply::Failed)]),
         [1],
         "an answer to nothing"
     );
     assert_eq!(
-        with(&[asked(0, 2, "b2", 1), told(4040, 2, Told::Failed)]),
+        with(&[asked(0, 2, "b2", 1), told(4040, 2, PlayerReply::Failed)]),
         [0u8; 0],
         "within the blur"
     );
-    let late = [asked(0, 2, "b2", 1), told(4060, 2, Told::Failed)];
+    let late = [asked(0, 2, "b2", 1), told(4060, 2, PlayerReply::Failed)];
     assert_eq!(with(&late), [1], "late");
     let stood = [
         late.to_vec(),
@@ -198,7 +208,7 @@
 #[test]
 fn second_bills_and_second_sends_are_found() {
     let verdict = judge(&rules(), &[good(), vec![billed(50, "n1", "b1")]].concat());
-    assert_eq!((verdict.billed_twice, verdict.kept()), (1, 5));
+    assert_eq!((verdict.billed_twice, verdict.passed_rule_count()), (1, 5));
     assert_eq!(
         with(&[
             sent(50, "n2", "b1", "paid", 2),
@@ -215,7 +225,7 @@
     let again = [
         sent(3, "n3", "b2", "paid", 2),
         replied(9, "n3", Reply::Plays),
-        told(10, 2, Told::Plays),
+        told(10, 2, PlayerReply::Plays),
     ];
     assert_eq!(
         with(&[&full[..], &again[..]].concat()),
@@ -234,12 +244,12 @@
             "{reply:?} may have run"
         );
         assert_eq!(
-            with(&[&ran[..], &[told(9, 2, Told::Refused)]].concat()),
+            with(&[&ran[..], &[told(9, 2, PlayerReply::Refused)]].concat()),
             [2],
             "refused after {reply:?}"
         );
         assert_eq!(
-            with(&[&ran[..], &[told(9, 2, Told::Failed)]].concat()),
+            with(&[&ran[..], &[told(9, 2, PlayerReply::Failed)]].concat()),
             [0u8; 0]
         );
     }
@@ -261,7 +271,7 @@
         let ends = [
             replied(closed, "n2", reply),
             replied(700, "n3", Reply::Plays),
-            told(701, 2, Told::Plays),
+            told(701, 2, PlayerReply::Plays),
         ];
         broken(&[&first[..], &ends[..]].concat())
     };
@@ -285,7 +295,7 @@
         sent(500, "n3", "b2", "free", 2),
     ];
     assert_eq!(
-        broken(&[&never[..], &[told(501, 2, Told::Plays)]].concat()),
+        broken(&[&never[..], &[told(501, 2, PlayerReply::Plays)]].concat()),
         [2],
         "the first never ended"
     );
@@ -298,7 +308,7 @@
             asked(0, 2, "b2", 1),
             sent(ms, "n2", "b2", "free", 7),
             replied(ms + 1, "n2", Reply::Plays),
-            told(ms + 2, 2, Told::Plays),
+            told(ms + 2, 2, PlayerReply::Plays),
         ]
         .to_vec()
     };
@@ -352,7 +362,7 @@
             ]);
             all.extend([
                 replied(ms + 1, &name, Reply::Plays),
-                told(ms + 2, 100 + n, Told::Plays),
+                told(ms + 2, 100 + n, PlayerReply::Plays),
             ]);
         }
         all
@@ -409,7 +419,7 @@
             asked(ms, 10 + n, &bill, 0),
             sent(ms, &name, &bill, "paid", 1),
             replied(ms + 1, &name, Reply::Plays),
-            told(ms + 2, 10 + n, Told::Plays),
+            told(ms + 2, 10 + n, PlayerReply::Plays),
         ]
         .to_vec()
     };
@@ -444,7 +454,7 @@
                 replied(20 + 20 * n, &name, Reply::Error),
             ]);
         }
-        all.push(told(900, 5, Told::Failed));
+        all.push(told(900, 5, PlayerReply::Failed));
         broken(&all)
     };
     assert_eq!(tries(2), [0u8; 0], "one further attempt");
@@ -454,19 +464,19 @@
         asked(0, 5, "r", 1),
         sent(1, "t1", "r", "free", 1),
         replied(2, "t1", Reply::Error),
-        told(3, 5, Told::Failed),
+        told(3, 5, PlayerReply::Failed),
     ];
     let second = [
         asked(4, 6, "r", 1),
         sent(5, "t2", "r", "free", 1),
         replied(6, "t2", Reply::Error),
-        told(7, 6, Told::Failed),
+        told(7, 6, PlayerReply::Failed),
     ];
     let third = [
         asked(8, 7, "r", 1),
         sent(9, "t3", "r", "free", 1),
         replied(10, "t3", Reply::Error),
-        told(11, 7, Told::Failed),
+        told(11, 7, PlayerReply::Failed),
     ];
     assert_eq!(broken(&[again, second, third].concat()), [0u8; 0]);
 }
