API descriptions: terms of the field in the conformance check

Cause: strange, tells, whole and held in the check of traffic against the documents. Change: undescribed, notifications and plain names; describe.rs says why its types keep published names. Measured: tests of crankpaddle-api pass.

--- a/crates/api/src/conform.rs
+++ b/crates/api/src/conform.rs
@@ -46,9 +46,9 @@
 
 /// What a run showed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Verdict {
+pub struct ConformanceReport {
     /// Exchanges that no description allows.
-    pub strange: Vec<String>,
+    pub undescribed: Vec<String>,
     /// What is described and was never exchanged.
     pub unseen: BTreeSet<String>,
     /// Exceptions for what was seen, or is not described at all.
@@ -57,19 +57,19 @@
     pub looked_at: usize,
 }
 
-impl Verdict {
+impl ConformanceReport {
     /// Whether both directions agree.
     pub fn agrees(&self) -> bool {
         self.looked_at > 0
-            && self.strange.is_empty()
+            && self.undescribed.is_empty()
             && self.unseen.is_empty()
             && self.needless.is_empty()
     }
 }
 
-impl fmt::Display for Verdict {
+impl fmt::Display for ConformanceReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.strange
+        self.undescribed
             .iter()
             .try_for_each(|what| writeln!(f, "not described: {what}"))?;
         self.unseen
@@ -90,21 +90,22 @@
 }
 
 /// Holds traffic against documents.
-pub struct Checker {
+pub struct ConformanceChecker {
     documents: [Value; 2], // AsyncAPI and OpenAPI.
     calls: Vec<Described>,
-    tells: Vec<Described>,
+    notifications: Vec<Described>,
     bodies: BTreeMap<(String, String, String), Described>, // By path, status, media type.
     statuses: BTreeSet<(String, String)>,                  // Without a body.
     seen: BTreeSet<String>,
-    strange: Vec<String>,
+    undescribed: Vec<String>,
     looked_at: usize,
 }
 
 /// A schema that finds the document's others.
 fn compiled(document: &Value, name: String, schema: &Value) -> Result<Described, String> {
-    let whole = json!({"allOf": [schema], "components": document["components"]});
-    let validator = jsonschema::draft202012::new(&whole).map_err(|e| format!("{name}: {e}"))?;
+    let with_components = json!({"allOf": [schema], "components": document["components"]});
+    let validator =
+        jsonschema::draft202012::new(&with_components).map_err(|e| format!("{name}: {e}"))?;
     Ok(Described {
         name,
         schema: schema.clone(),
@@ -116,12 +117,12 @@
     document.pointer(reference.strip_prefix('#')?)
 }
 
-impl Checker {
+impl ConformanceChecker {
     /// Reads the two documents.
     ///
     /// # Errors
     /// One of them is no JSON, refers to nothing, or holds a schema that is none.
-    pub fn new(asyncapi: &str, openapi: &str) -> Result<Checker, String> {
+    pub fn new(asyncapi: &str, openapi: &str) -> Result<ConformanceChecker, String> {
         let read = |text: &str| serde_json::from_str::<Value>(text).map_err(|e| e.to_string());
         let documents = [read(asyncapi)?, read(openapi)?];
         let of_operation = |name: &str| -> Result<Vec<Described>, String> {
@@ -133,12 +134,12 @@
                     .as_str()
                     .and_then(|r| at(&documents[0], r))
                     .ok_or_else(broken)?;
-                let whole = in_channel["$ref"]
+                let reference = in_channel["$ref"]
                     .as_str()
                     .and_then(|r| at(&documents[0], r))
                     .ok_or_else(broken)?;
-                let called = whole["name"].as_str().ok_or_else(broken)?.to_owned();
-                compiled(&documents[0], called, &whole["payload"])
+                let called = reference["name"].as_str().ok_or_else(broken)?.to_owned();
+                compiled(&documents[0], called, &reference["payload"])
             });
             each.collect()
         };
@@ -166,14 +167,14 @@
             }
         }
         let (seen, strange) = (BTreeSet::new(), Vec::new());
-        Ok(Checker {
+        Ok(ConformanceChecker {
             documents,
             calls,
-            tells,
+            notifications: tells,
             bodies,
             statuses,
             seen,
-            strange,
+            undescribed: strange,
             looked_at: 0,
         })
     }
@@ -214,14 +215,18 @@
             // What a player gets wrong is answered, not described.
             Err(_) if call => {}
             Err(e) => self
-                .strange
+                .undescribed
                 .push(format!("the front sent no JSON ({e}): {text}")),
         }
     }
 
     fn message(&mut self, call: bool, value: &Value) {
         self.looked_at += 1;
-        let among = if call { &self.calls } else { &self.tells };
+        let among = if call {
+            &self.calls
+        } else {
+            &self.notifications
+        };
         let fits: Vec<&Described> = among
             .iter()
             .filter(|d| d.validator.is_valid(value))
@@ -230,7 +235,7 @@
             // A wrong call is the player's own; the answer to it is what is described.
             if !call || fits.len() > 1 {
                 let names: Vec<&str> = fits.iter().map(|d| d.name.as_str()).collect();
-                self.strange.push(format!(
+                self.undescribed.push(format!(
                     "{} messages fit ({}): {value}",
                     fits.len(),
                     names.join(", ")
@@ -270,7 +275,7 @@
                 Some(Value::String(body.to_owned()))
             };
             let Some(value) = value.filter(|v| described.validator.is_valid(v)) else {
-                self.strange.push(format!(
+                self.undescribed.push(format!(
                     "{method} {path} {status}: the body is another: {body}"
                 ));
                 return;
@@ -286,7 +291,7 @@
             self.seen.extend(seen);
             return;
         }
-        self.strange.push(format!(
+        self.undescribed.push(format!(
             "{method} {path}: status {status} with {media:?} is not described"
         ));
     }
@@ -303,7 +308,7 @@
         };
         self.calls
             .iter()
-            .chain(&self.tells)
+            .chain(&self.notifications)
             .for_each(|d| of(&self.documents[0], d, &mut all));
         self.bodies
             .values()
@@ -317,7 +322,7 @@
     }
 
     /// What all that was taken shows.
-    pub fn verdict(&self, exceptions: &[Exception]) -> Verdict {
+    pub fn verdict(&self, exceptions: &[Exception]) -> ConformanceReport {
         let items = self.items();
         // An exception excuses what stands within it too.
         let within = |item: &str, e: &Exception| {
@@ -330,8 +335,8 @@
         let needless = |e: &&Exception| {
             self.seen.contains(&e.item) || !items.contains(&e.item) || e.reason.trim().is_empty()
         };
-        Verdict {
-            strange: self.strange.clone(),
+        ConformanceReport {
+            undescribed: self.undescribed.clone(),
             unseen: unseen.cloned().collect(),
             needless: exceptions
                 .iter()
@@ -351,8 +356,8 @@
     path: &str,
     out: &mut Vec<String>,
 ) {
-    if let Some(whole) = schema["$ref"].as_str().and_then(|r| at(document, r)) {
-        walk(document, whole, instance, path, out);
+    if let Some(referenced) = schema["$ref"].as_str().and_then(|r| at(document, r)) {
+        walk(document, referenced, instance, path, out);
     }
     for word in ["allOf", "anyOf", "oneOf"] {
         for inner in schema[word].as_array().into_iter().flatten() {
@@ -376,11 +381,11 @@
         }
     }
     for (name, inner) in schema["properties"].as_object().into_iter().flatten() {
-        let held = instance.map(|i| i.get(name));
-        if held != Some(None) {
+        let inner_instance = instance.map(|i| i.get(name));
+        if inner_instance != Some(None) {
             let path = format!("{path}.{name}");
             out.push(path.clone());
-            walk(document, inner, held.flatten(), &path, out);
+            walk(document, inner, inner_instance.flatten(), &path, out);
         }
     }
     if schema["items"].is_object() {
@@ -399,11 +404,11 @@
 mod tests {
     use super::*;
 
-    fn checker() -> Checker {
-        Checker::new(crate::PRESENT, crate::OPENAPI).unwrap()
+    fn checker() -> ConformanceChecker {
+        ConformanceChecker::new(crate::PRESENT, crate::OPENAPI).unwrap()
     }
 
-    fn told(text: &str) -> Verdict {
+    fn told(text: &str) -> ConformanceReport {
         let mut c = checker();
         c.take(&Exchange::Text {
             call: false,
@@ -415,7 +420,7 @@
     #[test]
     fn what_no_description_allows_is_found() {
         let good = r#"{"jsonrpc":"2.0","id":1,"error":{"code":-32001,"message":"refused","data":{"reason":"no_room","retry_after_ms":5}}}"#;
-        assert_eq!(told(good).strange, Vec::<String>::new());
+        assert_eq!(told(good).undescribed, Vec::<String>::new());
         for (from, to) in [
             ("no_room", "no_rooms"),
             ("\"retry_after_ms\":5", "\"retry_after_s\":5"),
@@ -432,7 +437,7 @@
         ] {
             assert!(good.contains(from), "{from}");
             assert_eq!(
-                told(&good.replacen(from, to, 1)).strange.len(),
+                told(&good.replacen(from, to, 1)).undescribed.len(),
                 1,
                 "{from} -> {to}"
             );
@@ -440,7 +445,7 @@
         // In a batch each is looked at.
         assert_eq!(
             told(&format!("[{good},{}]", good.replace("no_room", "none")))
-                .strange
+                .undescribed
                 .len(),
             1
         );
@@ -458,7 +463,7 @@
                 media: media.to_owned(),
                 body: body.to_owned(),
             });
-            c.verdict(&[]).strange.len()
+            c.verdict(&[]).undescribed.len()
         };
         let health = r#"{"state":"ready","waiting":0,"playing":0,"connections":1}"#;
         let problem = r#"{"type":"about:blank","title":"Not Found","status":404,"detail":"x"}"#;
@@ -553,17 +558,17 @@
         assert!(verdict.unseen.contains("close") && verdict.unseen.contains("closed"));
         assert_eq!(verdict.needless, ["move", "nothing of this name", "rung"]);
         assert!(
-            !verdict.agrees() && !Verdict::default().agrees(),
+            !verdict.agrees() && !ConformanceReport::default().agrees(),
             "a run of nothing shows nothing"
         );
     }
 
     #[test]
     fn broken_documents_are_refused() {
-        assert!(Checker::new("{", "{}").is_err());
-        assert!(Checker::new(crate::PRESENT, "{}").is_err());
+        assert!(ConformanceChecker::new("{", "{}").is_err());
+        assert!(ConformanceChecker::new(crate::PRESENT, "{}").is_err());
         let dangling =
             crate::PRESENT.replace("#/components/messages/move", "#/components/messages/mvoe");
-        assert!(Checker::new(&dangling, crate::OPENAPI).is_err());
+        assert!(ConformanceChecker::new(&dangling, crate::OPENAPI).is_err());
     }
 }
--- a/crates/api/src/cost.rs
+++ b/crates/api/src/cost.rs
@@ -1,5 +1,5 @@
 //! What it costs to hold a call against the API: read alone, read with the codec's checks, and by the published schemas.
-use crate::conform::Checker;
+use crate::conform::ConformanceChecker;
 use crankpaddle_session_api::jsonrpc::{self, Message};
 use crankpaddle_session_api::methods::Method;
 use std::hint::black_box;
@@ -19,7 +19,7 @@
 /// # Errors
 /// The published documents can't be read.
 pub fn run(rounds: usize, calls: u32) -> Result<String, String> {
-    let checker = Checker::new(crate::PRESENT, crate::OPENAPI)?;
+    let checker = ConformanceChecker::new(crate::PRESENT, crate::OPENAPI)?;
     let value: serde_json::Value = serde_json::from_str(CALL).map_err(|e| e.to_string())?;
     let read = || drop(black_box(jsonrpc::read(black_box(CALL))));
     let checked = || {
--- a/crates/api/src/describe.rs
+++ b/crates/api/src/describe.rs
@@ -1,4 +1,7 @@
-//! The documents, made from the codec's own types.
+//! The published documents, made from the codec's own types.
+//!
+//! Field, variant and type names of the types that derive `JsonSchema` here are names of the published JSON and its
+//! schemas (`api/*.json`), so they keep the words of the first release.
 use crankpaddle_cross_zone_traffic::report::TrafficReport;
 use crankpaddle_http::problem::Problem;
 use crankpaddle_session_api::answers::{FAILED, REFUSED, SUPERSEDED, UNKNOWN_SESSION};
@@ -311,16 +314,16 @@
 
 /// Which way a message goes.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum Way {
+enum MessageKind {
     Call,
-    Tell,
+    Notification,
 }
 
 /// A message and its whole payload.
 struct Message {
     name: &'static str,
     summary: &'static str,
-    way: Way,
+    way: MessageKind,
     payload: Value,
 }
 
@@ -346,7 +349,7 @@
     Message {
         name,
         summary,
-        way: Way::Call,
+        way: MessageKind::Call,
         payload,
     }
 }
@@ -359,7 +362,7 @@
     Message {
         name,
         summary,
-        way: Way::Tell,
+        way: MessageKind::Notification,
         payload,
     }
 }
@@ -384,7 +387,7 @@
     Message {
         name,
         summary,
-        way: Way::Tell,
+        way: MessageKind::Notification,
         payload,
     }
 }
@@ -397,7 +400,7 @@
     Message {
         name,
         summary,
-        way: Way::Tell,
+        way: MessageKind::Notification,
         payload,
     }
 }
@@ -508,7 +511,7 @@
             json!({"$ref": format!("#/components/messages/{}", m.name)}),
         );
     }
-    let of = |way: Way| -> Vec<Value> {
+    let of = |way: MessageKind| -> Vec<Value> {
         let there = messages.iter().filter(|m| m.way == way);
         there
             .map(|m| json!({"$ref": format!("#/channels/session/messages/{}", m.name)}))
@@ -537,8 +540,8 @@
             }}}},
         }},
         "operations": {
-            "call": {"action": "receive", "channel": {"$ref": "#/channels/session"}, "messages": of(Way::Call)},
-            "tell": {"action": "send", "channel": {"$ref": "#/channels/session"}, "messages": of(Way::Tell)},
+            "call": {"action": "receive", "channel": {"$ref": "#/channels/session"}, "messages": of(MessageKind::Call)},
+            "tell": {"action": "send", "channel": {"$ref": "#/channels/session"}, "messages": of(MessageKind::Notification)},
         },
         "components": {"messages": named, "schemas": g.take_definitions(true)},
     });
--- a/crates/api/tests/codec.rs
+++ b/crates/api/tests/codec.rs
@@ -1,5 +1,5 @@
 //! The front's codec and the published schemas come to the same verdict on calls: made from the schemas, and nearly so.
-use crankpaddle_api::conform::Checker;
+use crankpaddle_api::conform::ConformanceChecker;
 use crankpaddle_session_api::jsonrpc::{self, Message};
 use crankpaddle_session_api::methods::Method;
 use rand::rngs::StdRng;
@@ -141,7 +141,7 @@
 #[test]
 fn codec_and_descriptions_come_to_the_same_verdict_on_valid_and_nearly_valid_calls() {
     for document in [crankpaddle_api::PRESENT, crankpaddle_api::PREVIOUS] {
-        let checker = Checker::new(document, crankpaddle_api::OPENAPI).unwrap();
+        let checker = ConformanceChecker::new(document, crankpaddle_api::OPENAPI).unwrap();
         let document = crankpaddle_api::parsed(document);
         let calls: Vec<Value> = ["open", "resume", "close"]
             .map(|name| document["components"]["messages"][name]["payload"].clone())
--- a/crates/cli/src/api.rs
+++ b/crates/cli/src/api.rs
@@ -1,7 +1,7 @@
 //! The commands on the API's descriptions.
 use crate::{Failure, BAD_FILE};
 use clap::Subcommand;
-use crankpaddle_api::conform::{Checker, Exception, Exchange};
+use crankpaddle_api::conform::{ConformanceChecker, Exception, Exchange};
 use crankpaddle_api::{cost, describe, diff};
 use serde_json::Value;
 use std::fs;
@@ -116,7 +116,7 @@
             exceptions,
             part,
         } => {
-            let checker = Checker::new(&read(&asyncapi)?, &read(&openapi)?);
+            let checker = ConformanceChecker::new(&read(&asyncapi)?, &read(&openapi)?);
             let mut checker = checker.map_err(|what| Failure {
                 what,
                 status: BAD_FILE,
--- a/crates/daemon/tests/described.rs
+++ b/crates/daemon/tests/described.rs
@@ -2,7 +2,7 @@
 //! description allows fails, and so does what is described and was not exchanged.
 #![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 mod rig;
-use crankpaddle_api::conform::{Checker, Exception, Exchange};
+use crankpaddle_api::conform::{ConformanceChecker, Exception, Exchange};
 use crankpaddle_membership::{Membership, MembershipConfig, Output};
 use crankpaddle_session_api::Version;
 use crankpaddle_testbed::list_service::{entry, EndpointState};
@@ -568,7 +568,7 @@
             parts
                 .into_iter()
                 .for_each(|part| part.join().expect("a part of the run"));
-            let mut checker = Checker::new(document, crankpaddle_api::OPENAPI).unwrap();
+            let mut checker = ConformanceChecker::new(document, crankpaddle_api::OPENAPI).unwrap();
             tape.0
                 .lock()
                 .unwrap()
@@ -590,7 +590,7 @@
         let without = kept
             .iter()
             .filter(|e| !matches!(e, Exchange::Text { text, .. } if text.contains("key_spent")));
-        let mut less = Checker::new(
+        let mut less = ConformanceChecker::new(
             if version == Version::V2 {
                 crankpaddle_api::PRESENT
             } else {
@@ -706,7 +706,8 @@
     for (what, lie, name) in all {
         let mut document = crankpaddle_api::parsed(crankpaddle_api::PRESENT);
         lie(&mut document);
-        let mut checker = Checker::new(&document.to_string(), crankpaddle_api::OPENAPI).unwrap();
+        let mut checker =
+            ConformanceChecker::new(&document.to_string(), crankpaddle_api::OPENAPI).unwrap();
         tape.iter().for_each(|exchange| checker.take(exchange));
         let verdict = checker.verdict(excused);
         assert!(
