API descriptions: typed errors, the checker reads documents in steps, tests in files

Cause: five functions returned strings as errors; one constructor read two documents in one go; tests stood inline.

--- a/crates/api/src/conform.rs
+++ b/crates/api/src/conform.rs
@@ -3,6 +3,7 @@
 //! Reads the documents, never the types that they came from. A message that no description allows is a fault; so is what is
 //! described and was never exchanged in a whole run: a message, a property, a value of an enum, a status. What no run can
 //! show is listed with its reason.
+use crate::errors::ApiError;
 use jsonschema::Validator;
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
@@ -38,7 +39,7 @@
 /// What is described and has not been seen for a reason.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Exception {
-    /// As [`Verdict::unseen`] names it.
+    /// As [`ConformanceReport::unseen`] names it.
     pub item: String,
     /// Why no run shows it.
     pub reason: String,
@@ -102,79 +103,112 @@
 }
 
 /// A schema that finds the document's others.
-fn compiled(document: &Value, name: String, schema: &Value) -> Result<Described, String> {
+fn compiled(document: &Value, name: String, schema: &Value) -> Result<Described, ApiError> {
     let with_components = json!({"allOf": [schema], "components": document["components"]});
-    let validator =
-        jsonschema::draft202012::new(&with_components).map_err(|e| format!("{name}: {e}"))?;
-    Ok(Described {
-        name,
-        schema: schema.clone(),
-        validator,
-    })
+    match jsonschema::draft202012::new(&with_components) {
+        Ok(validator) => Ok(Described {
+            name,
+            schema: schema.clone(),
+            validator,
+        }),
+        Err(fault) => Err(ApiError::Schema {
+            name,
+            source: Box::new(fault.to_owned()),
+        }),
+    }
 }
 
 fn at<'v>(document: &'v Value, reference: &str) -> Option<&'v Value> {
     document.pointer(reference.strip_prefix('#')?)
 }
 
+/// What the reference in `value` points at.
+fn referenced<'v>(document: &'v Value, value: &Value) -> Option<&'v Value> {
+    at(document, value["$ref"].as_str()?)
+}
+
+/// The messages of an operation of an AsyncAPI document.
+fn messages_of(document: &Value, operation: &str) -> Result<Vec<Described>, ApiError> {
+    let listed = document["operations"][operation]["messages"].as_array();
+    let Some(listed) = listed else {
+        return Err(ApiError::MissingOperation {
+            operation: operation.to_owned(),
+        });
+    };
+    let mut messages = Vec::with_capacity(listed.len());
+    for entry in listed {
+        let message = referenced(document, entry).and_then(|m| referenced(document, m));
+        let name = message.and_then(|m| m["name"].as_str());
+        let (Some(message), Some(name)) = (message, name) else {
+            return Err(ApiError::DanglingReference {
+                operation: operation.to_owned(),
+                message: entry.to_string(),
+            });
+        };
+        messages.push(compiled(document, name.to_owned(), &message["payload"])?);
+    }
+    Ok(messages)
+}
+
+/// Answers of an OpenAPI document: those with a body and those without.
+#[derive(Default)]
+struct Responses {
+    bodies: BTreeMap<(String, String, String), Described>,
+    statuses: BTreeSet<(String, String)>,
+}
+
+impl Responses {
+    /// Reads all answers: those of each path, and under `*` those that any path may give.
+    fn of(document: &Value) -> Result<Responses, ApiError> {
+        let paths = document["paths"].as_object();
+        let paths = paths.ok_or(ApiError::MissingPaths)?;
+        let mut responses = Responses::default();
+        for (path, methods) in paths {
+            responses.read_path(document, path, &methods["get"]["responses"])?;
+        }
+        responses.read_path(document, "*", &document["components"]["responses"])?;
+        Ok(responses)
+    }
+
+    fn read_path(&mut self, document: &Value, path: &str, listed: &Value) -> Result<(), ApiError> {
+        for (status, response) in listed.as_object().into_iter().flatten() {
+            let content = response["content"].as_object().filter(|c| !c.is_empty());
+            let Some(content) = content else {
+                self.statuses.insert((path.to_owned(), status.clone()));
+                continue;
+            };
+            for (media, of) in content {
+                let name = format!("GET {path} {status}");
+                let described = compiled(document, name, &of["schema"])?;
+                let key = (path.to_owned(), status.clone(), media.clone());
+                self.bodies.insert(key, described);
+            }
+        }
+        Ok(())
+    }
+}
+
 impl ConformanceChecker {
     /// Reads the two documents.
     ///
     /// # Errors
     /// One of them is no JSON, refers to nothing, or holds a schema that is none.
-    pub fn new(asyncapi: &str, openapi: &str) -> Result<ConformanceChecker, String> {
-        let read = |text: &str| serde_json::from_str::<Value>(text).map_err(|e| e.to_string());
-        let documents = [read(asyncapi)?, read(openapi)?];
-        let of_operation = |name: &str| -> Result<Vec<Described>, String> {
-            let listed = documents[0]["operations"][name]["messages"].as_array();
-            let listed = listed.ok_or_else(|| format!("AsyncAPI has no operation {name:?}"))?;
-            let each = listed.iter().map(|message| {
-                let broken = || format!("a message of {name:?} refers to nothing: {message}");
-                let in_channel = message["$ref"]
-                    .as_str()
-                    .and_then(|r| at(&documents[0], r))
-                    .ok_or_else(broken)?;
-                let reference = in_channel["$ref"]
-                    .as_str()
-                    .and_then(|r| at(&documents[0], r))
-                    .ok_or_else(broken)?;
-                let called = reference["name"].as_str().ok_or_else(broken)?.to_owned();
-                compiled(&documents[0], called, &reference["payload"])
-            });
-            each.collect()
-        };
-        let (calls, tells) = (of_operation("call")?, of_operation("tell")?);
-        let (mut bodies, mut statuses) = (BTreeMap::new(), BTreeSet::new());
-        let empty = serde_json::Map::new();
-        let paths = documents[1]["paths"]
-            .as_object()
-            .ok_or("OpenAPI has no paths")?;
-        let named = paths
-            .iter()
-            .map(|(path, of)| (path.clone(), &of["get"]["responses"]));
-        let others = [("*".to_owned(), &documents[1]["components"]["responses"])];
-        for (path, responses) in named.chain(others) {
-            for (status, response) in responses.as_object().unwrap_or(&empty) {
-                let content = response["content"].as_object().unwrap_or(&empty);
-                if content.is_empty() {
-                    statuses.insert((path.clone(), status.clone()));
-                }
-                for (media, of) in content {
-                    let name = format!("GET {path} {status}");
-                    let described = compiled(&documents[1], name, &of["schema"])?;
-                    bodies.insert((path.clone(), status.clone(), media.clone()), described);
-                }
-            }
-        }
-        let (seen, strange) = (BTreeSet::new(), Vec::new());
+    pub fn new(asyncapi: &str, openapi: &str) -> Result<ConformanceChecker, ApiError> {
+        let documents: [Value; 2] = [
+            serde_json::from_str(asyncapi)?,
+            serde_json::from_str(openapi)?,
+        ];
+        let calls = messages_of(&documents[0], "call")?;
+        let notifications = messages_of(&documents[0], "tell")?;
+        let responses = Responses::of(&documents[1])?;
         Ok(ConformanceChecker {
             documents,
             calls,
-            notifications: tells,
-            bodies,
-            statuses,
-            seen,
-            undescribed: strange,
+            notifications,
+            bodies: responses.bodies,
+            statuses: responses.statuses,
+            seen: BTreeSet::new(),
+            undescribed: Vec::new(),
             looked_at: 0,
         })
     }
@@ -296,7 +330,7 @@
         ));
     }
 
-    /// All that is described, as [`Verdict::unseen`] names it.
+    /// All that is described, as [`ConformanceReport::unseen`] names it.
     pub fn items(&self) -> BTreeSet<String> {
         let mut all: BTreeSet<String> = ["batch of calls", "batch of answers"]
             .map(str::to_owned)
@@ -401,174 +435,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn checker() -> ConformanceChecker {
-        ConformanceChecker::new(crate::PRESENT, crate::OPENAPI).unwrap()
-    }
-
-    fn told(text: &str) -> ConformanceReport {
-        let mut c = checker();
-        c.take(&Exchange::Text {
-            call: false,
-            text: text.to_owned(),
-        });
-        c.verdict(&[])
-    }
-
-    #[test]
-    fn what_no_description_allows_is_found() {
-        let good = r#"{"jsonrpc":"2.0","id":1,"error":{"code":-32001,"message":"refused","data":{"reason":"no_room","retry_after_ms":5}}}"#;
-        assert_eq!(told(good).undescribed, Vec::<String>::new());
-        for (from, to) in [
-            ("no_room", "no_rooms"),
-            ("\"retry_after_ms\":5", "\"retry_after_s\":5"),
-            ("\"retry_after_ms\":5", "\"retry_after_ms\":\"5\""),
-            ("-32001", "-32009"),
-            ("\"id\":1,", ""),
-            ("\"jsonrpc\":\"2.0\",", ""),
-            (
-                "\"data\":{\"reason\":\"no_room\",\"retry_after_ms\":5}",
-                "\"data\":{}",
-            ),
-            ("{\"jsonrpc\"", "{\"more\":1,\"jsonrpc\""),
-            ("{\"jsonrpc\"", "\"jsonrpc\""),
-        ] {
-            assert!(good.contains(from), "{from}");
-            assert_eq!(
-                told(&good.replacen(from, to, 1)).undescribed.len(),
-                1,
-                "{from} -> {to}"
-            );
-        }
-        // In a batch each is looked at.
-        assert_eq!(
-            told(&format!("[{good},{}]", good.replace("no_room", "none")))
-                .undescribed
-                .len(),
-            1
-        );
-    }
-
-    #[test]
-    fn answers_over_http_are_held_against_their_path_and_status() {
-        let http = |method: &str, path: &str, status, media: &str, body: &str| {
-            let mut c = checker();
-            let (method, path) = (method.to_owned(), path.to_owned());
-            c.take(&Exchange::Http {
-                method,
-                path,
-                status,
-                media: media.to_owned(),
-                body: body.to_owned(),
-            });
-            c.verdict(&[]).undescribed.len()
-        };
-        let health = r#"{"state":"ready","waiting":0,"playing":0,"connections":1}"#;
-        let problem = r#"{"type":"about:blank","title":"Not Found","status":404,"detail":"x"}"#;
-        let (json, details) = ("application/json", "application/problem+json");
-        assert_eq!(http("GET", "/health", 200, json, health), 0);
-        assert_eq!(http("GET", "/nothing", 404, details, problem), 0);
-        assert_eq!(
-            http("DELETE", "/health", 405, details, problem),
-            1,
-            "its status is another"
-        );
-        assert_eq!(
-            http(
-                "DELETE",
-                "/health",
-                405,
-                details,
-                &problem.replace("404", "405")
-            ),
-            0
-        );
-        assert_eq!(http("GET", "/session", 101, "", ""), 0);
-        for (method, path, status, media, body) in [
-            ("GET", "/health", 201, json, health.to_owned()),
-            ("GET", "/health", 200, "text/plain", health.to_owned()),
-            (
-                "GET",
-                "/health",
-                200,
-                json,
-                health.replace("ready", "asleep"),
-            ),
-            (
-                "GET",
-                "/health",
-                200,
-                json,
-                health.replace("}", ",\"more\":1}"),
-            ),
-            ("GET", "/nothing", 404, json, problem.to_owned()),
-            ("DELETE", "/health", 200, json, health.to_owned()),
-            ("GET", "/session", 200, "", String::new()),
-        ] {
-            assert_eq!(
-                http(method, path, status, media, &body),
-                1,
-                "{method} {path} {status} {media} {body}"
-            );
-        }
-    }
-
-    #[test]
-    fn what_is_described_and_was_never_exchanged_is_found_down_to_values() {
-        let end = r#"{"jsonrpc":"2.0","method":"session.end","params":{"session":"s-1","reason":"finished"}}"#;
-        let unseen = told(end).unseen;
-        assert!(!unseen.contains("end") && !unseen.contains("end.params.reason = \"finished\""));
-        for item in [
-            "end.params.retry_after_ms",
-            "end.params.reason = \"server_lost\"",
-            "rung",
-            "open.params.tenant",
-            "refused.error.data.reason = \"held_at_home\"",
-            "batch of calls",
-            "GET /health 503",
-            "GET /health 503.state",
-            "GET /session 101",
-        ] {
-            assert!(unseen.contains(item), "{item}: {unseen:#?}");
-        }
-    }
-
-    #[test]
-    fn exceptions_excuse_what_they_name_and_must_be_needed() {
-        let mut c = checker();
-        let end = r#"{"jsonrpc":"2.0","method":"session.move","params":{"session":"s-1"}}"#;
-        c.take(&Exchange::Text {
-            call: false,
-            text: end.into(),
-        });
-        let exception = |item: &str, reason: &str| Exception {
-            item: item.into(),
-            reason: reason.into(),
-        };
-        let all = [
-            exception("end", "a reason"),
-            exception("move", "it was seen"),
-            exception("nothing of this name", "a reason"),
-            exception("rung", " "),
-        ];
-        let verdict = c.verdict(&all);
-        assert!(!verdict.unseen.contains("end") && !verdict.unseen.contains("end.params.reason"));
-        assert!(verdict.unseen.contains("close") && verdict.unseen.contains("closed"));
-        assert_eq!(verdict.needless, ["move", "nothing of this name", "rung"]);
-        assert!(
-            !verdict.agrees() && !ConformanceReport::default().agrees(),
-            "a run of nothing shows nothing"
-        );
-    }
-
-    #[test]
-    fn broken_documents_are_refused() {
-        assert!(ConformanceChecker::new("{", "{}").is_err());
-        assert!(ConformanceChecker::new(crate::PRESENT, "{}").is_err());
-        let dangling =
-            crate::PRESENT.replace("#/components/messages/move", "#/components/messages/mvoe");
-        assert!(ConformanceChecker::new(&dangling, crate::OPENAPI).is_err());
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/api/src/conform/tests.rs
@@ -0,0 +1,169 @@
+use super::*;
+
+fn checker() -> ConformanceChecker {
+    ConformanceChecker::new(crate::PRESENT, crate::OPENAPI).unwrap()
+}
+
+fn told(text: &str) -> ConformanceReport {
+    let mut c = checker();
+    c.take(&Exchange::Text {
+        call: false,
+        text: text.to_owned(),
+    });
+    c.verdict(&[])
+}
+
+#[test]
+fn what_no_description_allows_is_found() {
+    let good = r#"{"jsonrpc":"2.0","id":1,"error":{"code":-32001,"message":"refused","data":{"reason":"no_room","retry_after_ms":5}}}"#;
+    assert_eq!(told(good).undescribed, Vec::<String>::new());
+    for (from, to) in [
+        ("no_room", "no_rooms"),
+        ("\"retry_after_ms\":5", "\"retry_after_s\":5"),
+        ("\"retry_after_ms\":5", "\"retry_after_ms\":\"5\""),
+        ("-32001", "-32009"),
+        ("\"id\":1,", ""),
+        ("\"jsonrpc\":\"2.0\",", ""),
+        (
+            "\"data\":{\"reason\":\"no_room\",\"retry_after_ms\":5}",
+            "\"data\":{}",
+        ),
+        ("{\"jsonrpc\"", "{\"more\":1,\"jsonrpc\""),
+        ("{\"jsonrpc\"", "\"jsonrpc\""),
+    ] {
+        assert!(good.contains(from), "{from}");
+        assert_eq!(
+            told(&good.replacen(from, to, 1)).undescribed.len(),
+            1,
+            "{from} -> {to}"
+        );
+    }
+    // In a batch each is looked at.
+    assert_eq!(
+        told(&format!("[{good},{}]", good.replace("no_room", "none")))
+            .undescribed
+            .len(),
+        1
+    );
+}
+
+#[test]
+fn answers_over_http_are_held_against_their_path_and_status() {
+    let http = |method: &str, path: &str, status, media: &str, body: &str| {
+        let mut c = checker();
+        let (method, path) = (method.to_owned(), path.to_owned());
+        c.take(&Exchange::Http {
+            method,
+            path,
+            status,
+            media: media.to_owned(),
+            body: body.to_owned(),
+        });
+        c.verdict(&[]).undescribed.len()
+    };
+    let health = r#"{"state":"ready","waiting":0,"playing":0,"connections":1}"#;
+    let problem = r#"{"type":"about:blank","title":"Not Found","status":404,"detail":"x"}"#;
+    let (json, details) = ("application/json", "application/problem+json");
+    assert_eq!(http("GET", "/health", 200, json, health), 0);
+    assert_eq!(http("GET", "/nothing", 404, details, problem), 0);
+    assert_eq!(
+        http("DELETE", "/health", 405, details, problem),
+        1,
+        "its status is another"
+    );
+    assert_eq!(
+        http(
+            "DELETE",
+            "/health",
+            405,
+            details,
+            &problem.replace("404", "405")
+        ),
+        0
+    );
+    assert_eq!(http("GET", "/session", 101, "", ""), 0);
+    for (method, path, status, media, body) in [
+        ("GET", "/health", 201, json, health.to_owned()),
+        ("GET", "/health", 200, "text/plain", health.to_owned()),
+        (
+            "GET",
+            "/health",
+            200,
+            json,
+            health.replace("ready", "asleep"),
+        ),
+        (
+            "GET",
+            "/health",
+            200,
+            json,
+            health.replace("}", ",\"more\":1}"),
+        ),
+        ("GET", "/nothing", 404, json, problem.to_owned()),
+        ("DELETE", "/health", 200, json, health.to_owned()),
+        ("GET", "/session", 200, "", String::new()),
+    ] {
+        assert_eq!(
+            http(method, path, status, media, &body),
+            1,
+            "{method} {path} {status} {media} {body}"
+        );
+    }
+}
+
+#[test]
+fn what_is_described_and_was_never_exchanged_is_found_down_to_values() {
+    let end = r#"{"jsonrpc":"2.0","method":"session.end","params":{"session":"s-1","reason":"finished"}}"#;
+    let unseen = told(end).unseen;
+    assert!(!unseen.contains("end") && !unseen.contains("end.params.reason = \"finished\""));
+    for item in [
+        "end.params.retry_after_ms",
+        "end.params.reason = \"server_lost\"",
+        "rung",
+        "open.params.tenant",
+        "refused.error.data.reason = \"held_at_home\"",
+        "batch of calls",
+        "GET /health 503",
+        "GET /health 503.state",
+        "GET /session 101",
+    ] {
+        assert!(unseen.contains(item), "{item}: {unseen:#?}");
+    }
+}
+
+#[test]
+fn exceptions_excuse_what_they_name_and_must_be_needed() {
+    let mut c = checker();
+    let end = r#"{"jsonrpc":"2.0","method":"session.move","params":{"session":"s-1"}}"#;
+    c.take(&Exchange::Text {
+        call: false,
+        text: end.into(),
+    });
+    let exception = |item: &str, reason: &str| Exception {
+        item: item.into(),
+        reason: reason.into(),
+    };
+    let all = [
+        exception("end", "a reason"),
+        exception("move", "it was seen"),
+        exception("nothing of this name", "a reason"),
+        exception("rung", " "),
+    ];
+    let verdict = c.verdict(&all);
+    assert!(!verdict.unseen.contains("end") && !verdict.unseen.contains("end.params.reason"));
+    assert!(verdict.unseen.contains("close") && verdict.unseen.contains("closed"));
+    assert_eq!(verdict.needless, ["move", "nothing of this name", "rung"]);
+    assert!(
+        !verdict.agrees() && !ConformanceReport::default().agrees(),
+        "a run of nothing shows nothing"
+    );
+}
+
+#[test]
+fn broken_documents_are_refused() {
+    assert!(ConformanceChecker::new("{", "{}").is_err());
+    assert!(ConformanceChecker::new(crate::PRESENT, "{}").is_err());
+    let dangling =
+        crate::PRESENT.replace("#/components/messages/move", "#/components/messages/mvoe");
+    assert!(ConformanceChecker::new(&dangling, crate::OPENAPI).is_err());
+}
--- a/crates/api/src/cost.rs
+++ b/crates/api/src/cost.rs
@@ -18,9 +18,9 @@
 ///
 /// # Errors
 /// The published documents can't be read.
-pub fn run(rounds: usize, calls: u32) -> Result<String, String> {
+pub fn run(rounds: usize, calls: u32) -> Result<String, crate::ApiError> {
     let checker = ConformanceChecker::new(crate::PRESENT, crate::OPENAPI)?;
-    let value: serde_json::Value = serde_json::from_str(CALL).map_err(|e| e.to_string())?;
+    let value: serde_json::Value = serde_json::from_str(CALL)?;
     let read = || drop(black_box(jsonrpc::read(black_box(CALL))));
     let checked = || {
         if let Message::One(Ok(call)) = jsonrpc::read(black_box(CALL)) {
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -12,8 +12,11 @@
 pub mod cost;
 pub mod describe;
 pub mod diff;
+mod errors;
 pub mod page;
 
+pub use errors::ApiError;
+
 use serde_json::Value;
 
 /// The published description of the present version's messages, as it is committed under `api/`.
--- a/crates/cli/src/api.rs
+++ b/crates/cli/src/api.rs
@@ -84,8 +84,8 @@
             Ok(ExitCode::SUCCESS)
         }
         Api::Diff { old, new } => {
-            let changes = diff::diff(&json(&old)?, &json(&new)?).map_err(|what| Failure {
-                what,
+            let changes = diff::diff(&json(&old)?, &json(&new)?).map_err(|e| Failure {
+                what: e.to_string(),
                 status: BAD_FILE,
             })?;
             changes.iter().for_each(|change| println!("{change}"));
@@ -103,10 +103,7 @@
             })
         }
         Api::Cost { rounds, calls } => {
-            print!(
-                "{}",
-                cost::run(rounds, calls).map_err(|what| Failure { what, status: 1 })?
-            );
+            print!("{}", cost::run(rounds, calls)?);
             Ok(ExitCode::SUCCESS)
         }
         Api::Check {
@@ -117,8 +114,8 @@
             part,
         } => {
             let checker = ConformanceChecker::new(&read(&asyncapi)?, &read(&openapi)?);
-            let mut checker = checker.map_err(|what| Failure {
-                what,
+            let mut checker = checker.map_err(|e| Failure {
+                what: e.to_string(),
                 status: BAD_FILE,
             })?;
             let lines =
--- /dev/null
+++ b/crates/testbed/src/model/tests.rs
@@ -0,0 +1,65 @@
+use super::*;
+const SECOND: u64 = 1_000_000_000;
+
+fn model() -> Model {
+    let spec = Spec {
+        cores: 2,
+        work: SECOND / 10,
+        places: 20,
+        slow_start_duration: 10 * SECOND,
+        slow_start_min_factor: 0.5,
+        fall_multiple: 2.0,
+        fall: SECOND,
+        guard: 0.0,
+    };
+    Model::new(
+        spec,
+        &[(0, 1000.0), (0, 1000.0), (1, 1000.0)],
+        vec![1500.0, 9000.0],
+    )
+}
+
+#[test]
+fn links_and_uplinks_are_shared_alike() {
+    let mut m = model();
+    m.set_up(0, 1, 500.0, SECOND);
+    assert_eq!(m.share(0), 1.0);
+    m.set_up(0, 2, 1500.0, SECOND);
+    assert_eq!((m.link_demand(0), m.share(0)), (2.0, 0.5));
+    m.set_up(1, 3, 1000.0, SECOND);
+    assert_eq!(
+        (m.uplink_demand(1), m.share(1), m.share(2)),
+        (2.0, 0.5, 1.0)
+    );
+    m.set_rate(0, 2, 0.0);
+    m.end(1, 3);
+    assert_eq!((m.share(0), m.streams(1)), (1.0, 0));
+    m.set_slow(4.0);
+    assert_eq!(m.share(0), 0.5);
+}
+
+#[test]
+fn set_ups_queue_for_cores_and_places() {
+    let mut m = model();
+    let done: Vec<Taken> = (0..3).map(|n| m.set_up(0, n, 1.0, SECOND)).collect();
+    let (first, second) = (
+        Taken::DoneAt(SECOND + SECOND / 10),
+        Taken::DoneAt(SECOND + SECOND / 5),
+    );
+    assert_eq!(done, [first, first, second]);
+    assert!((3..20).all(|n| m.set_up(0, n, 1.0, SECOND) != Taken::Full));
+    assert_eq!(m.set_up(0, 20, 1.0, SECOND), Taken::Full);
+}
+
+#[test]
+fn a_cold_server_warms_and_falls_when_pushed() {
+    let mut m = model();
+    m.start(0, 100 * SECOND);
+    assert_eq!(m.warm_up_progress(0, 105 * SECOND), 0.75);
+    let sent = |m: &mut Model, n| m.set_up(0, n, 1.0, 100 * SECOND + 1);
+    assert!((0..3).all(|n| matches!(sent(&mut m, n), Taken::DoneAt(_))));
+    assert_eq!(sent(&mut m, 3), Taken::Falls);
+    m.start(0, 100 * SECOND);
+    let paced = (0..19).map(|n| m.set_up(0, n, 1.0, 100 * SECOND + n * SECOND / 2));
+    assert!(paced.into_iter().all(|t| matches!(t, Taken::DoneAt(_))));
+}
--- /dev/null
+++ b/crates/testbed/src/script/tests.rs
@@ -0,0 +1,57 @@
+use super::*;
+
+fn read(text: &str) -> Result<Day, Vec<Problem>> {
+    parse(text, |name| {
+        built_in_fleet(name).ok_or_else(|| format!("no fleet {name:?}"))
+    })
+}
+
+#[test]
+fn the_built_in_days_are_well_formed() {
+    for (name, text) in DAYS {
+        let day = read(text).unwrap_or_else(|p| panic!("{name}: {p:?}"));
+        assert_eq!(day.name, name);
+    }
+}
+
+#[test]
+fn what_is_wrong_is_said_with_its_place() {
+    let (_, good) = DAYS[1];
+    for (from, to, said) in [
+        (
+            "servers {",
+            "servers {\n  colour: 1",
+            "no field \"colour\" in servers",
+        ),
+        (
+            "zone: \"south\"",
+            "zone: \"suth\"",
+            "not a zone: north, south",
+        ),
+        ("crash {}", "", "has no kind"),
+        ("fleet: \"fleet\"", "fleet: \"flet\"", "no fleet \"flet\""),
+        (
+            "share: [0.35, 0.65]",
+            "share: [0.35]",
+            "one part for each class",
+        ),
+    ] {
+        assert!(good.contains(from), "{from}");
+        let problems = read(&good.replacen(from, to, 1)).unwrap_err();
+        assert!(
+            problems.iter().any(|p| p.what.contains(said) && p.line > 1),
+            "{from}: {problems:?}"
+        );
+    }
+}
+
+#[test]
+fn bursts_raise_the_rate_while_they_last() {
+    let day = read(DAYS[1].1).unwrap();
+    let burst = day
+        .faults
+        .iter()
+        .find(|f| matches!(f.kind, Kind::Burst(_)))
+        .unwrap();
+    assert!(day.rate_at(burst.at) > day.rate && day.rate_at(burst.at + burst.length) == day.rate);
+}
