API descriptions: documents, bodies and messages in modules; comparison in steps

Cause: describe.rs held 700 lines of bodies and documents; seven functions were over 60 lines. Change: describe becomes bodies, messages, asyncapi and openapi; diff and conform split by job; the page is written in steps. The published documents are the same to the byte.

--- a/crates/api/src/conform/tests.rs
+++ b/crates/api/src/conform/tests.rs
@@ -1,3 +1,4 @@
+//! Traffic held against documents.
 use super::*;
 
 fn checker() -> ConformanceChecker {
--- /dev/null
+++ b/crates/api/src/describe/mod.rs
@@ -0,0 +1,96 @@
+//! The published documents, made from the codec's own types.
+mod asyncapi;
+mod bodies;
+mod messages;
+mod openapi;
+
+pub use asyncapi::asyncapi;
+pub use bodies::{
+    Fleet, Former, Health, Members, OwnStanding, Peer, PeerState, PeerTurn, ReturnStep,
+    ServiceStage, State, StepReason, StoreState,
+};
+use crankpaddle_session_api::Version;
+pub use openapi::openapi;
+use schemars::generate::SchemaSettings;
+use schemars::{JsonSchema, SchemaGenerator};
+use serde_json::Value;
+
+/// The release that is described, by version; its last number changes with each change of words.
+fn release(version: Version) -> &'static str {
+    match version {
+        Version::V1 => "1.0.0",
+        Version::V2 => "2.0.0",
+    }
+}
+
+/// The number of a version, as `x-since` counts.
+fn number(version: Version) -> u64 {
+    match version {
+        Version::V1 => 1,
+        Version::V2 => 2,
+    }
+}
+
+/// Takes out of a schema what later versions added: properties and values that say since when they are there.
+fn prune(value: &mut Value, version: u64) {
+    let later = |v: &Value| v["x-since"].as_u64().is_some_and(|since| since > version);
+    match value {
+        Value::Object(fields) => {
+            if let Some(Value::Object(properties)) = fields.get_mut("properties") {
+                properties.retain(|_, property| !later(property));
+            }
+            for word in ["oneOf", "anyOf"] {
+                if let Some(Value::Array(alternatives)) = fields.get_mut(word) {
+                    alternatives.retain(|alternative| !later(alternative));
+                }
+            }
+            fields.values_mut().for_each(|inner| prune(inner, version));
+        }
+        Value::Array(all) => all.iter_mut().for_each(|inner| prune(inner, version)),
+        _ => {}
+    }
+}
+
+/// Where schemas stand in both documents.
+const SCHEMAS: &str = "/components/schemas";
+
+fn generator() -> SchemaGenerator {
+    SchemaSettings::draft2020_12()
+        .with(|s| s.definitions_path = SCHEMAS.into())
+        .into_generator()
+}
+
+fn schema<T: JsonSchema>(generator: &mut SchemaGenerator) -> Value {
+    generator.subschema_for::<T>().to_value()
+}
+
+/// A type's own schema, to be narrowed where it is used.
+fn plain<T: JsonSchema>() -> Value {
+    let mut schema = generator().into_root_schema_for::<T>().to_value();
+    if let Some(fields) = schema.as_object_mut() {
+        for word in ["$schema", "$defs", "components"] {
+            fields.remove(word);
+        }
+    }
+    schema
+}
+
+/// A document as it is committed: sorted, indented, one newline at its end.
+pub fn text(document: &Value) -> String {
+    serde_json::to_string_pretty(document).unwrap_or_default() + "\n"
+}
+
+/// All that is published, by the name of its file.
+pub fn files() -> Vec<(&'static str, String)> {
+    let (present, openapi) = (asyncapi(Version::V2), openapi());
+    let page = crate::page::html(&present, &openapi);
+    vec![
+        ("session.v2.asyncapi.json", text(&present)),
+        ("session.v1.asyncapi.json", text(&asyncapi(Version::V1))),
+        ("openapi.json", text(&openapi)),
+        ("index.html", page),
+    ]
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/api/src/describe/openapi.rs
@@ -0,0 +1,140 @@
+//! The OpenAPI 3.1 document of the HTTP beside the session API.
+use super::bodies::{Fleet, Health, Members};
+use super::{generator, plain, release, schema};
+use crankpaddle_cross_zone_traffic::report::TrafficReport;
+use crankpaddle_http::problem::Problem;
+use crankpaddle_session_api::Version;
+use schemars::SchemaGenerator;
+use serde_json::{json, Map, Value};
+
+/// An answer with a body of one media type.
+fn body(description: &str, media: &str, schema: &Value) -> Value {
+    json!({"description": description, "content": {media: {"schema": schema}}})
+}
+
+/// An answer that is a published document.
+fn document(description: &str, media: &str) -> Value {
+    json!({"description": description, "content": {media: {"schema": {}}}})
+}
+
+/// An answer that is a problem: its own status, and advice when to retry only where there is some.
+fn problem(status: u16, description: &str) -> Value {
+    let mut schema = plain::<Problem>();
+    schema["properties"]["status"] = json!({"const": status});
+    let advice = schema["properties"]
+        .as_object_mut()
+        .and_then(|properties| properties.remove("retry_after_ms"));
+    if let (Some(advice), (503, true)) = (advice, (status, description.contains("come back"))) {
+        schema["properties"]["retry_after_ms"] = advice;
+    }
+    body(description, crankpaddle_http::problem::MEDIA_TYPE, &schema)
+}
+
+/// The body of `/health` in one of its states.
+fn health(state: &str) -> Value {
+    let mut schema = plain::<Health>();
+    schema["properties"]["state"] = json!({"const": state});
+    schema
+}
+
+/// Paths that show the state of a front.
+fn state_paths(schemas: &mut SchemaGenerator) -> Value {
+    json!({
+        "/health": {"get": {
+            "summary": "Whether the front takes players.",
+            "responses": {
+                "200": body("It does.", "application/json", &health("ready")),
+                "503": body("It drains.", "application/json", &health("draining")),
+            },
+        }},
+        "/traffic": {"get": {
+            "summary": "Bytes between halls, by flow, and the budgets for them.",
+            "responses": {
+                "200": body("The report.", "application/json", &schema::<TrafficReport>(schemas)),
+                "503": problem(503, "The front has more to do than to report."),
+            },
+        }},
+        "/members": {"get": {
+            "summary": "The other fronts, as this one sees them.",
+            "responses": {
+                "200": body("What it knows of them.", "application/json", &schema::<Members>(schemas)),
+                "404": problem(404, "It has no peers in its configuration."),
+                "503": problem(503, "The front has more to do than to tell."),
+            },
+        }},
+        "/fleet": {"get": {
+            "summary": "What the front knows of its past and the fleet's, and how far service is back after a start.",
+            "responses": {
+                "200": body("What it knows.", "application/json", &schema::<Fleet>(schemas)),
+                "404": problem(404, "It has no store in its configuration."),
+                "503": problem(503, "The front has more to do than to tell."),
+            },
+        }},
+    })
+}
+
+/// Paths of the session API and its descriptions.
+fn session_paths() -> Value {
+    json!({
+        "/session": {"get": {
+            "summary": "The opening handshake of WebSocket; what goes over it is described by AsyncAPI.",
+            "responses": {
+                "101": {"description": "WebSocket from here on."},
+                "400": problem(400, "The handshake is malformed, or offers no version that is served."),
+                "426": problem(426, "This is spoken over WebSocket, version 13."),
+                "503": problem(503, "As many connections as there may be; come back after a while."),
+            },
+        }},
+        "/api/session.v2.asyncapi.json": {"get": {
+            "summary": "The description of the present version's WebSocket messages.",
+            "responses": {"200": document("AsyncAPI 3.0.", "application/json")},
+        }},
+        "/api/session.v1.asyncapi.json": {"get": {
+            "summary": "The description of the previous version's WebSocket messages.",
+            "responses": {"200": document("AsyncAPI 3.0.", "application/json")},
+        }},
+        "/api/openapi.json": {"get": {
+            "summary": "This description.",
+            "responses": {"200": document("OpenAPI 3.1.", "application/json")},
+        }},
+        "/api": {"get": {
+            "summary": "Both descriptions as a page to read.",
+            "responses": {"200": document("A page that needs nothing else.", "text/html")},
+        }},
+    })
+}
+
+/// Answers that any path may give.
+fn common_responses() -> Value {
+    json!({
+        "400": problem(400, "The request is malformed."),
+        "404": problem(404, "Nothing is there."),
+        "405": problem(405, "Only GET is known here."),
+        "413": problem(413, "The body is too large."),
+        "431": problem(431, "The fields are too large."),
+    })
+}
+
+/// The OpenAPI 3.1 document.
+pub fn openapi() -> Value {
+    let mut schemas = generator();
+    let mut paths = Map::new();
+    for group in [state_paths(&mut schemas), session_paths()] {
+        paths.extend(group.as_object().cloned().unwrap_or_default());
+    }
+    json!({
+        "openapi": "3.1.0",
+        "info": {
+            "title": "crankpaddle HTTP beside the session API",
+            "version": release(Version::V2),
+            "description": "Errors are problem details (RFC 9457). Whatever is not described here is answered with 404, \
+                another method than GET with 405, a malformed request with 400, 413 or 431, each as a problem.",
+        },
+        "servers": [{"url": "http://localhost"}],
+        "paths": paths,
+        "components": {
+            "schemas": schemas.take_definitions(true),
+            "responses": common_responses(),
+        },
+    })
+}
--- a/crates/api/src/describe/tests.rs
+++ b/crates/api/src/describe/tests.rs
@@ -1,3 +1,4 @@
+//! The published documents are those of the codec, and prunes leave what a version knows.
 use super::*;
 use crate::diff::{diff, Class};
 
--- a/crates/api/src/diff.rs
+++ b/crates/api/src/diff.rs
@@ -4,6 +4,8 @@
 //! both. A sender made by one description is understood by a receiver made by another where all that it may send is allowed
 //! there. So for what clients send, old clients are served if nothing got narrower, and old servers understand new clients
 //! if nothing got wider; for what servers send it is the other way round. What is not understood counts as both.
+mod schemas;
+
 use crate::errors::ApiError;
 use serde_json::Value;
 use std::collections::BTreeSet;
@@ -71,6 +73,20 @@
     "default",
 ];
 
+/// Words of a schema that are compared by their meaning.
+const COMPARED: [&str; 10] = [
+    "type",
+    "properties",
+    "required",
+    "additionalProperties",
+    "items",
+    "minimum",
+    "maximum",
+    "minLength",
+    "maxLength",
+    "$ref",
+];
+
 struct Comparison<'a> {
     old: &'a Value,
     new: &'a Value,
@@ -232,192 +248,27 @@
                 }
                 (None, Some(_)) => self.found(Sender::Server, &place, Set::Wider, "a new status"),
                 (Some(was), Some(is)) => {
-                    let (was, is) = (&was["content"], &is["content"]);
-                    for media in keys(was).union(&keys(is)) {
-                        match (was.get(media), is.get(media)) {
-                            (Some(w), Some(i)) => {
-                                self.schema(Sender::Server, &place, &w["schema"], &i["schema"]);
-                            }
-                            (Some(_), None) => {
-                                let what = format!("no {media} any more");
-                                self.found(Sender::Server, &place, Set::Narrower, what);
-                            }
-                            _ => self.found(
-                                Sender::Server,
-                                &place,
-                                Set::Wider,
-                                format!("{media} too"),
-                            ),
-                        }
-                    }
+                    self.media_types(&place, &was["content"], &is["content"]);
                 }
                 (None, None) => {}
             }
         }
     }
 
-    fn schema(&mut self, sender: Sender, at: &str, before: &Value, after: &Value) {
-        let (before, after) = (
-            resolved(self.old, before).clone(),
-            resolved(self.new, after).clone(),
-        );
-        if let (Some(was), Some(is)) = (values(&before), values(&after)) {
-            for value in was.iter().filter(|v| !is.contains(v)) {
-                self.found(sender, at, Set::Narrower, format!("{value} is gone"));
-            }
-            for value in is.iter().filter(|v| !was.contains(v)) {
-                self.found(sender, at, Set::Wider, format!("{value} is new"));
-            }
-            return;
-        }
-        let (was, is) = (list(&before["type"]), list(&after["type"]));
-        if was.is_empty() != is.is_empty() {
-            let set = if is.is_empty() {
-                Set::Wider
-            } else {
-                Set::Narrower
-            };
-            self.found(sender, at, set, "any type is allowed on one side only");
-        } else {
-            let gone: Vec<&Value> = was.iter().filter(|t| !is.contains(t)).collect();
-            let new: Vec<&Value> = is.iter().filter(|t| !was.contains(t)).collect();
-            match (gone.is_empty(), new.is_empty()) {
-                (false, false) => {
-                    self.found(sender, at, Set::Other, format!("was {gone:?}, is {new:?}"));
-                }
-                (false, true) => {
-                    self.found(sender, at, Set::Narrower, format!("no {gone:?} any more"));
-                }
-                (true, false) => self.found(sender, at, Set::Wider, format!("{new:?} too")),
-                (true, true) => {}
-            }
-        }
-        self.bounds(sender, at, &before, &after);
-        self.properties(sender, at, &before, &after);
-        if before["items"].is_object() && after["items"].is_object() {
-            self.schema(
-                sender,
-                &format!("{at}[]"),
-                &before["items"],
-                &after["items"],
-            );
-        }
-        let known = [
-            "type",
-            "properties",
-            "required",
-            "additionalProperties",
-            "items",
-            "minimum",
-            "maximum",
-        ];
-        let known = known
-            .iter()
-            .chain(&["minLength", "maxLength", "$ref"])
-            .chain(&PROSE);
-        let known: BTreeSet<&str> = known.copied().collect();
-        for word in keys(&before).union(&keys(&after)) {
-            let (was, is) = (before.get(word), after.get(word));
-            if !known.contains(word.as_str()) && was != is {
-                let shown = |v: Option<&Value>| v.map_or("nothing".to_owned(), Value::to_string);
-                let what = format!(
-                    "{word} was {}, is {}: taken as breaking",
-                    shown(was),
-                    shown(is)
-                );
-                self.found(sender, at, Set::Other, what);
-            }
-        }
-    }
-
-    fn bounds(&mut self, sender: Sender, at: &str, before: &Value, after: &Value) {
-        for (word, least) in [
-            ("minimum", true),
-            ("minLength", true),
-            ("maximum", false),
-            ("maxLength", false),
-        ] {
-            let open = if least {
-                f64::NEG_INFINITY
-            } else {
-                f64::INFINITY
-            };
-            let bound = |v: &Value| v[word].as_f64().unwrap_or(open);
-            let (was, is) = (bound(before), bound(after));
-            if was != is {
-                let set = if (is < was) == least {
-                    Set::Wider
-                } else {
-                    Set::Narrower
-                };
-                self.found(sender, at, set, format!("{word} was {was}, is {is}"));
-            }
-        }
-    }
-
-    fn properties(&mut self, sender: Sender, at: &str, before: &Value, after: &Value) {
-        let closed = |v: &Value| v["additionalProperties"] == false;
-        let required = |v: &Value, name: &str| list(&v["required"]).iter().any(|r| r == name);
-        match (closed(before), closed(after)) {
-            (true, false) => self.found(sender, at, Set::Wider, "other properties are allowed"),
-            (false, true) if before["properties"].is_object() => {
-                self.found(sender, at, Set::Narrower, "no other properties are allowed");
-            }
-            _ => {}
-        }
-        let (was, is) = (&before["properties"], &after["properties"]);
-        for name in keys(was).union(&keys(is)) {
-            let place = format!("{at}.{name}");
-            match (was.get(name), is.get(name)) {
-                (Some(w), Some(i)) => {
-                    match (required(before, name), required(after, name)) {
-                        (false, true) => {
-                            self.found(sender, &place, Set::Narrower, "must be there now");
-                        }
-                        (true, false) => {
-                            self.found(sender, &place, Set::Wider, "may be missing now");
-                        }
-                        _ => {}
-                    }
-                    self.schema(sender, &place, w, i);
+    fn media_types(&mut self, place: &str, before: &Value, after: &Value) {
+        for media in keys(before).union(&keys(after)) {
+            match (before.get(media), after.get(media)) {
+                (Some(was), Some(is)) => {
+                    self.schema(Sender::Server, place, &was["schema"], &is["schema"]);
                 }
                 (Some(_), None) => {
-                    let must = required(before, name);
-                    let set = match (must, closed(after)) {
-                        (true, true) => Set::Other,
-                        (false, true) => Set::Narrower,
-                        (_, false) => Set::Wider, // Whatever stands there is allowed.
-                    };
-                    self.found(
-                        sender,
-                        &place,
-                        set,
-                        if must {
-                            "a needed property is gone"
-                        } else {
-                            "is gone"
-                        },
-                    );
+                    let what = format!("no {media} any more");
+                    self.found(Sender::Server, place, Set::Narrower, what);
                 }
-                (None, Some(_)) => {
-                    let must = required(after, name);
-                    let set = match (must, closed(before)) {
-                        (true, true) => Set::Other,
-                        (false, true) => Set::Wider,
-                        (_, false) => Set::Narrower, // Something else may have stood there.
-                    };
-                    self.found(
-                        sender,
-                        &place,
-                        set,
-                        if must {
-                            "new, and must be there"
-                        } else {
-                            "new, optional"
-                        },
-                    );
+                (None, _) => {
+                    let what = format!("{media} too");
+                    self.found(Sender::Server, place, Set::Wider, what);
                 }
-                (None, None) => {}
             }
         }
     }
--- a/crates/api/src/diff/tests.rs
+++ b/crates/api/src/diff/tests.rs
@@ -1,3 +1,5 @@
+//! Changes of schemas, messages, paths and statuses, each classed by who sends it.
+#![allow(clippy::too_many_lines)] // One table of cases.
 use super::*;
 use serde_json::json;
 
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -5,7 +5,6 @@
 //! - [`diff`]: what a change of a description means for old clients and old servers;
 //! - [`cost`]: what checking a call costs;
 //! - [`page`]: a page to read offline.
-#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 pub mod conform;
--- a/crates/api/src/page.rs
+++ b/crates/api/src/page.rs
@@ -92,84 +92,79 @@
     );
 }
 
+const HEAD: &str = "<!DOCTYPE html>\n<html lang=\"en\">\n<head><meta charset=\"utf-8\"><title>crankpaddle session API</title>\n<style>\
+    body{font:16px/1.5 sans-serif;max-width:60em;margin:2em auto;padding:0 1em}\
+    table{border-collapse:collapse;width:100%}td{border-top:1px solid #ccc;padding:.2em .6em;vertical-align:top}\
+    code{background:#f3f3f3}</style></head>\n<body>\n";
+
+fn text(value: &Value) -> &str {
+    value.as_str().unwrap_or("")
+}
+
+fn object(value: &Value) -> impl Iterator<Item = (&String, &Value)> {
+    value.as_object().into_iter().flatten()
+}
+
 /// The page for an AsyncAPI and an OpenAPI document.
 pub fn html(asyncapi: &Value, openapi: &Value) -> String {
-    let mut out = String::from(
-        "<!DOCTYPE html>\n<html lang=\"en\">\n<head><meta charset=\"utf-8\"><title>crankpaddle session API</title>\n<style>\
-        body{font:16px/1.5 sans-serif;max-width:60em;margin:2em auto;padding:0 1em}\
-        table{border-collapse:collapse;width:100%}td{border-top:1px solid #ccc;padding:.2em .6em;vertical-align:top}\
-        code{background:#f3f3f3}</style></head>\n<body>\n",
-    );
-    let text = |v: &Value| v.as_str().unwrap_or("").to_owned();
-    let info = &asyncapi["info"];
-    let _ = writeln!(
-        out,
-        "<h1>{} {}</h1>",
-        escaped(&text(&info["title"])),
-        escaped(&text(&info["version"]))
-    );
-    let _ = writeln!(out, "<p>{}</p>", escaped(&text(&info["description"])));
-    for (operation, title) in [
-        ("call", "What players call"),
-        ("tell", "What fronts answer and tell"),
-    ] {
-        let _ = writeln!(out, "<h2>{title}</h2>");
-        for listed in asyncapi["operations"][operation]["messages"]
-            .as_array()
-            .into_iter()
-            .flatten()
-        {
-            let name = text(&listed["$ref"])
-                .rsplit('/')
-                .next()
-                .unwrap_or("")
-                .to_owned();
-            let message = &asyncapi["components"]["messages"][&name];
-            section(&mut out, &name, &text(&message["summary"]), &name);
-            table(&mut out, &message["payload"]);
+    let mut out = String::from(HEAD);
+    title(&mut out, &asyncapi["info"]);
+    messages(&mut out, asyncapi, "call", "What players call");
+    messages(&mut out, asyncapi, "tell", "What fronts answer and tell");
+    paths(&mut out, openapi);
+    out.push_str("<h2>Types</h2>\n");
+    for document in [asyncapi, openapi] {
+        for (name, schema) in object(&document["components"]["schemas"]) {
+            section(&mut out, name, text(&schema["description"]), name);
+            table(&mut out, schema);
         }
     }
+    out.push_str("</body>\n</html>\n");
+    out
+}
+
+fn title(out: &mut String, info: &Value) {
+    let name = escaped(text(&info["title"]));
+    let version = escaped(text(&info["version"]));
+    let description = escaped(text(&info["description"]));
+    let _ = writeln!(out, "<h1>{name} {version}</h1>");
+    let _ = writeln!(out, "<p>{description}</p>");
+}
+
+/// The messages of one operation, each with its payload.
+fn messages(out: &mut String, asyncapi: &Value, operation: &str, title: &str) {
+    let _ = writeln!(out, "<h2>{title}</h2>");
+    let listed = asyncapi["operations"][operation]["messages"].as_array();
+    for entry in listed.into_iter().flatten() {
+        let name = text(&entry["$ref"]).rsplit('/').next().unwrap_or("");
+        let message = &asyncapi["components"]["messages"][name];
+        section(out, name, text(&message["summary"]), name);
+        table(out, &message["payload"]);
+    }
+}
+
+/// The paths of the HTTP, each with its answers.
+fn paths(out: &mut String, openapi: &Value) {
     out.push_str("<h2>HTTP</h2>\n");
-    let _ = writeln!(
-        out,
-        "<p>{}</p>",
-        escaped(&text(&openapi["info"]["description"]))
-    );
-    for (path, of) in openapi["paths"].as_object().into_iter().flatten() {
-        section(
-            &mut out,
-            &format!("GET {path}"),
-            &text(&of["get"]["summary"]),
-            path,
-        );
+    let description = escaped(text(&openapi["info"]["description"]));
+    let _ = writeln!(out, "<p>{description}</p>");
+    for (path, methods) in object(&openapi["paths"]) {
+        let get = &methods["get"];
+        section(out, &format!("GET {path}"), text(&get["summary"]), path);
         out.push_str("<table>\n");
-        for (status, response) in of["get"]["responses"].as_object().into_iter().flatten() {
-            let media = response["content"].as_object().into_iter().flatten();
-            let bodies: Vec<String> = media
-                .map(|(m, of)| format!("{}: {}", escaped(m), kind(&of["schema"])))
+        for (status, response) in object(&get["responses"]) {
+            let bodies: Vec<String> = object(&response["content"])
+                .map(|(media, of)| format!("{}: {}", escaped(media), kind(&of["schema"])))
                 .collect();
-            let words = escaped(&text(&response["description"]));
+            let words = escaped(text(&response["description"]));
+            let bodies = bodies.join("<br>");
             let _ = writeln!(
                 out,
-                "<tr><td>{status}</td><td>{words}</td><td>{}</td></tr>",
-                bodies.join("<br>")
+                "<tr><td>{status}</td><td>{words}</td><td>{bodies}</td></tr>"
             );
         }
         out.push_str("</table>\n");
     }
-    out.push_str("<h2>Types</h2>\n");
-    for document in [asyncapi, openapi] {
-        for (name, schema) in document["components"]["schemas"]
-            .as_object()
-            .into_iter()
-            .flatten()
-        {
-            section(&mut out, name, &text(&schema["description"]), name);
-            table(&mut out, schema);
-        }
-    }
-    out.push_str("</body>\n</html>\n");
-    out
 }
 
 #[cfg(test)]
--- a/crates/api/src/page/tests.rs
+++ b/crates/api/src/page/tests.rs
@@ -1,3 +1,4 @@
+//! The page for readers.
 use super::*;
 use serde_json::json;
 
