--- a/crates/node/tests/rig/mod.rs
+++ b/crates/node/tests/rig/mod.rs
@@ -41,6 +41,7 @@
     held: RefCell<VecDeque<Heard>>, // Heard, and not asked for yet.
     deaf: Arc<AtomicBool>,
     vanished: Arc<AtomicBool>,
+    parked: Arc<AtomicBool>,
     listener: std::thread::Thread,
 }
 
@@ -60,6 +61,8 @@
         let conns: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
         let deaf = Arc::new(AtomicBool::new(false));
         let vanished = Arc::new(AtomicBool::new(false));
+        let parked = Arc::new(AtomicBool::new(false));
+        let parks = parked.clone();
         let (all, ends, lost) = (conns.clone(), deaf.clone(), vanished.clone());
         let accepts = std::thread::spawn(move || {
             for stream in listener.incoming() {
@@ -67,6 +70,7 @@
                     return; // The listener closes with this.
                 }
                 while lost.load(Ordering::Acquire) {
+                    parks.store(true, Ordering::Release);
                     std::thread::park(); // It stays open, and nobody accepts.
                 }
                 let Ok(stream) = stream else { return };
@@ -93,6 +97,7 @@
             held: RefCell::default(),
             deaf,
             vanished,
+            parked,
             listener,
         }
     }
@@ -169,8 +174,13 @@
     /// The machine vanishes: what is open stays open and silent, and no new connection comes up. The connections that fill
     /// the listener's queue must be kept for as long.
     pub(crate) fn vanish(&self) -> Vec<TcpStream> {
+        self.parked.store(false, Ordering::Release);
         self.vanished.store(true, Ordering::Release);
         let _ = TcpStream::connect(self.address); // Wakes the listener, which takes nothing more.
+                                                  // An accept after the queue was filled would leave room for one connection.
+        wait("the listener is parked", || {
+            self.parked.load(Ordering::Acquire)
+        });
         let short = Duration::from_millis(100);
         std::iter::from_fn(|| TcpStream::connect_timeout(&self.address, short).ok()).collect()
     }
