--- a/crates/benchmark/src/lib.rs
+++ b/crates/benchmark/src/lib.rs
@@ -2,7 +2,6 @@
 //! same run: [`relay`], which passes the same messages over the same sockets and decides nothing.
 //!
 //! Machines are noisy: what counts is the ratio of the two, taken in turns.
-#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 pub mod account;
