--- a/crates/front/src/core/attempts.rs
+++ b/crates/front/src/core/attempts.rs
@@ -1,6 +1,6 @@
 //! Attempts: how they come out, and what servers say of sessions.
 use super::{jitter, Core, EARLY_NOTES};
-use crate::io::{Answer, AttemptId, FailureReason, Notification, Output, SessionEndReason};
+use crate::input::{Answer, AttemptId, FailureReason, Notification, Output, SessionEndReason};
 use crate::keys::{self, KeyState, RequestOutcome};
 use crankpaddle::{AttemptOutcome, Event, LoadField, LoadReport, RequestId, SessionUpdate, Time};
 
--- a/crates/front/src/core/completion.rs
+++ b/crates/front/src/core/completion.rs
@@ -1,6 +1,6 @@
 //! Ends: of sessions, of waits, of what is kept of keys, and of the front.
 use super::{jitter, Core};
-use crate::io::{Answer, FailureReason, Notification, Output, RejectReason, SessionEndReason};
+use crate::input::{Answer, FailureReason, Notification, Output, RejectReason, SessionEndReason};
 use crate::keys::{self, KeyState, ReopenDecision, RequestOutcome};
 use crate::timers::Due;
 use crankpaddle::{AttemptOutcome, Event, LoadReport, RequestId, Time};
--- a/crates/front/src/core/mod.rs
+++ b/crates/front/src/core/mod.rs
@@ -5,7 +5,7 @@
 mod players;
 mod startup_recovery;
 
-use crate::io::{
+use crate::input::{
     Answer, AttemptId, Call, FailureReason, Input, Notification, OpenRequest, Output, PlayerId,
     RejectReason, SetUpOrder, SetUpResult,
 };
--- a/crates/front/src/core/players.rs
+++ b/crates/front/src/core/players.rs
@@ -1,6 +1,6 @@
 //! Players: what they open, take up, close and leave.
 use super::{jitter, Core, Request};
-use crate::io::{
+use crate::input::{
     Answer, AttemptId, Call, FailureReason, Notification, OpenRequest, Output, PlayerId,
     RejectReason, SessionEndReason,
 };
--- a/crates/front/src/core/startup_recovery.rs
+++ b/crates/front/src/core/startup_recovery.rs
@@ -1,6 +1,6 @@
 //! After a power loss: who waits until what was begun is settled, and which keys of former lives ran.
 use super::{jitter, Core, Request};
-use crate::io::{Answer, Call, FailureReason, OpenRequest, Output, RejectReason};
+use crate::input::{Answer, Call, FailureReason, OpenRequest, Output, RejectReason};
 use crate::keys::{KeyState, RequestOutcome};
 use crate::overload::AdmissionDecision as Load;
 use crate::recovery_queue::Held;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -18,7 +18,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 mod core;
-mod io;
+mod input;
 pub mod keys;
 pub mod overload;
 mod recovery_queue;
@@ -32,4 +32,4 @@
 pub use crankpaddle_recovery::{
     ConservativeBound, PreviousShutdown, RecoveryStage, StageEvidence, StagedRecovery,
 };
-pub use io::*;
+pub use input::*;
--- a/crates/front/src/recovery_queue.rs
+++ b/crates/front/src/recovery_queue.rs
@@ -1,5 +1,5 @@
 //! Requests that wait, before anything is decided on them, until it is known what a former life had begun.
-use crate::io::{Call, OpenRequest, PlayerId};
+use crate::input::{Call, OpenRequest, PlayerId};
 use crankpaddle::Time;
 use std::collections::VecDeque;
 
--- a/crates/front/src/timers.rs
+++ b/crates/front/src/timers.rs
@@ -1,5 +1,5 @@
 //! What falls due when. Timers are never withdrawn: who is called looks whether it still matters.
-use crate::io::AttemptId;
+use crate::input::AttemptId;
 use crankpaddle::{RequestId, Time};
 use std::collections::BTreeSet;
 
