--- a/crates/front/src/core/attempts.rs
+++ b/crates/front/src/core/attempts.rs
@@ -1,280 +1,240 @@
-//! Attempts: how they come out, and what servers say of sessions.
-use super::{jitter, Core, EARLY_NOTES};
-use crate::input::{Answer, AttemptId, FailureReason, Notification, Output, SessionEndReason};
-use crate::keys::{self, KeyState, RequestOutcome};
-use crankpaddle::{AttemptOutcome, Event, LoadField, LoadReport, RequestId, SessionUpdate, Time};
+//! Results of attempts: set-ups that started or ended, time-outs, and answer deadlines.
+use super::request::{OutstandingAttempt, Request, RequestPhase, SessionEnd};
+use super::Core;
+use crate::ids::{AttemptId, PlayerId};
+use crate::input::SetUpResult;
+use crate::keys::{self, RequestOutcome};
+use crate::output::{Answer, FailureReason, Output};
+use crankpaddle::{AttemptOutcome, Event, LoadField, LoadReport, RequestId, SessionUpdate};
 
 impl Core {
-    pub(super) fn started(
+    pub(super) fn set_up_completed(
         &mut self,
-        now: Time,
         attempt: AttemptId,
-        report: LoadReport,
+        result: SetUpResult,
         out: &mut Vec<Output>,
     ) {
-        let Some(id) = self.attempts.get(&attempt).copied() else {
+        match result {
+            SetUpResult::Started(report) => self.set_up_started(attempt, report, out),
+            SetUpResult::Ended(outcome, report) => self.attempt_failed(attempt, outcome, report),
+        }
+    }
+
+    fn set_up_started(&mut self, attempt: AttemptId, report: LoadReport, out: &mut Vec<Output>) {
+        let now = self.now;
+        let Some((id, request)) = self.request_of(attempt) else {
             return;
         };
-        let Some(r) = self.requests.get_mut(&id) else {
+        let Some(outstanding) = request.waiting_attempt() else {
             return;
         };
-        let (KeyState::Waiting, Some((_, server, sent))) = (r.standing, r.out) else {
-            return;
+        if now >= request.gives_up_at {
+            // Handled too late, perhaps because this process was stalled: the viewer has given up.
+            out.push(Output::AbandonAttempt(attempt, outstanding.server));
+            return self.attempt_failed(attempt, AttemptOutcome::Timeout, report);
+        }
+        request.phase = RequestPhase::Playing(outstanding);
+        let call = request.call.take();
+        let player = request.player;
+        let early_end = request.early_end.take();
+        let early_updates = std::mem::take(&mut request.early_updates);
+        let established = Answer::Established {
+            session: id,
+            attempt,
+            server: outstanding.server,
+            rung: request.rung,
         };
-        if now >= r.gives_up {
-            // Read too late, perhaps because we stood still: the viewer is gone.
-            out.push(Output::AbandonAttempt(attempt, server));
-            return self.attempt_ended(attempt, AttemptOutcome::Timeout, report);
+        self.count_established(player);
+        if let Some(call) = call {
+            let answer = answer_to_set_up(established, early_end.as_ref());
+            out.push(Output::Answer(call, answer));
+        }
+        self.emit_established(id, outstanding);
+        self.emit_demand(id, outstanding, report);
+        for update in early_updates {
+            self.session_updated(attempt, update);
         }
-        r.standing = KeyState::Playing;
-        let (rung, call, player) = (r.rung, r.call.take(), r.player);
-        let (early, notes, number) = (
-            r.early.take(),
-            std::mem::take(&mut r.early_notes),
-            r.attempts - 1,
-        );
+        if let Some(end) = early_end {
+            self.apply_early_end(id, attempt, end, out);
+        }
+    }
+
+    /// A request that waited plays from now on.
+    fn count_established(&mut self, player: Option<PlayerId>) {
         self.waiting -= 1;
         self.playing += 1;
-        if let Some(p) = player.and_then(|p| self.players.get_mut(&p)) {
-            p.waiting = p.waiting.saturating_sub(1);
+        let player = player.and_then(|player| self.players.get_mut(&player));
+        if let Some(player) = player {
+            player.waiting = player.waiting.saturating_sub(1);
         }
-        // Danger: what was cut can't be said to play; a viewer would wait for what never comes. It ran, so it has failed. One
-        // that came to its end has played.
-        let cut = early
-            .as_ref()
-            .is_some_and(|(outcome, _)| *outcome != AttemptOutcome::Completed);
-        let plays = Answer::Established {
-            session: id,
-            attempt,
-            server,
-            rung,
-        };
-        let answer = if cut {
-            Answer::Failed(FailureReason::ConnectionLost)
-        } else {
-            plays
-        };
-        out.extend(call.map(|c| Output::Answer(c, answer)));
-        let (took, request) = (now.0.saturating_sub(sent.0), id);
-        self.events.push_back(Event::SessionEstablished {
-            request,
+    }
+
+    fn emit_established(&mut self, id: RequestId, attempt: OutstandingAttempt) {
+        let number = self
+            .requests
+            .get(&id)
+            .map_or(0, Request::last_attempt_number);
+        self.emit(Event::SessionEstablished {
+            request: id,
             attempt: number,
-            server,
-            setup_time: took,
+            server: attempt.server,
+            setup_time: self.now.0.saturating_sub(attempt.started_at.0),
         });
+    }
+
+    /// Passes the demand stated by the load report that came with the answer on to the policy.
+    fn emit_demand(&mut self, request: RequestId, attempt: OutstandingAttempt, report: LoadReport) {
         for (field, value) in report {
-            let note = match field {
+            let update = match field {
                 LoadField::LinkDemand | LoadField::LinkUtilization => {
                     SessionUpdate::LinkDemand(value)
                 }
                 LoadField::UplinkDemand => SessionUpdate::UplinkDemand(value),
                 _ => continue,
             };
-            self.events.push_back(Event::SessionUpdated {
+            self.emit(Event::SessionUpdated {
                 request,
-                server,
-                update: note,
+                server: attempt.server,
+                update,
             });
         }
-        notes.into_iter().for_each(|note| self.note(attempt, note));
-        match early {
-            Some((outcome, report)) if cut => {
-                self.end_playing(id, outcome, report, RequestOutcome::Failed, None);
-            }
-            Some((outcome, report)) => self.over(attempt, outcome, report, out),
-            None => {}
-        }
     }
 
-    pub(super) fn kept_back(&mut self, attempt: AttemptId, kept_back: bool) {
-        let request = self
-            .attempts
-            .get(&attempt)
-            .and_then(|id| self.requests.get_mut(id));
-        request.into_iter().for_each(|r| r.kept_back = kept_back);
+    /// Applies the end of a session that was received before the answer to its set-up.
+    fn apply_early_end(
+        &mut self,
+        id: RequestId,
+        attempt: AttemptId,
+        end: SessionEnd,
+        out: &mut Vec<Output>,
+    ) {
+        if end.was_cut() {
+            self.end_playing(id, end, RequestOutcome::Failed);
+        } else {
+            self.session_ended(attempt, end.outcome, end.report, out);
+        }
     }
 
-    pub(super) fn lowered(&mut self, attempt: AttemptId, lowered: bool) {
-        let Some(request) = self.attempts.get(&attempt).copied() else {
-            return;
-        };
-        let Some(r) = self
-            .requests
-            .get(&request)
-            .filter(|r| r.standing == KeyState::Playing)
-        else {
+    /// The front defers sending an attempt, or sends it now.
+    pub(super) fn send_deferred(&mut self, attempt: AttemptId, is_deferred: bool) {
+        let Some((_, request)) = self.request_of(attempt) else {
             return;
         };
-        let top = if lowered { 0 } else { r.ask.max_rung };
-        self.events.push_back(Event::MaxRungChanged {
-            request,
-            max_rung: top,
-        });
+        if let RequestPhase::Waiting(Some(outstanding)) = &mut request.phase {
+            outstanding.is_deferred = is_deferred;
+        }
     }
 
-    pub(super) fn timed_out(&mut self, now: Time, attempt: AttemptId, out: &mut Vec<Output>) {
-        let Some(id) = self.attempts.get(&attempt).copied() else {
+    pub(super) fn attempt_timed_out(&mut self, attempt: AttemptId, out: &mut Vec<Output>) {
+        let Some((id, request)) = self.request_of(attempt) else {
             return;
         };
-        let Some(r) = self.requests.get(&id) else {
+        let Some(outstanding) = request.waiting_attempt() else {
             return;
         };
-        if let (KeyState::Waiting, Some((_, server, _))) = (r.standing, r.out) {
-            // Danger: what a slow disk held back has not left; told as one that may have run, a paid request would fail for it.
-            let outcome = if r.kept_back {
-                AttemptOutcome::NotSent
-            } else {
-                AttemptOutcome::Timeout
-            };
-            out.push(Output::AbandonAttempt(attempt, server));
-            self.attempt_ended(attempt, outcome, LoadReport::new());
-            self.decide(now, out);
-            self.left_unanswered(id, out);
-        }
+        // Why: what a slow disk defers has not left; reported as one that may have run, a paid request would fail for it.
+        let outcome = if outstanding.is_deferred {
+            AttemptOutcome::NotSent
+        } else {
+            AttemptOutcome::Timeout
+        };
+        out.push(Output::AbandonAttempt(attempt, outstanding.server));
+        self.attempt_failed(attempt, outcome, LoadReport::new());
+        self.decide(self.now, out);
+        self.fail_if_unanswered(id, out);
     }
 
-    pub(super) fn overdue(&mut self, now: Time, id: RequestId, out: &mut Vec<Output>) {
-        let Some(r) = self
-            .requests
-            .get(&id)
-            .filter(|r| r.standing == KeyState::Waiting)
-        else {
+    /// The request's deadline has passed: it is answered now.
+    pub(super) fn answer_overdue(&mut self, id: RequestId, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get(&id) else {
             return;
         };
-        if let Some((attempt, _, _)) = r.out {
-            self.timed_out(now, attempt, out);
+        if let Some(attempt) = request.waiting_attempt() {
+            self.attempt_timed_out(attempt.id, out);
         }
-        self.left_unanswered(id, out);
+        self.fail_if_unanswered(id, out);
     }
 
-    /// Danger: a request that waits with no attempt out would never be answered. The module answers each at once;
-    /// should it ever not, the core does.
-    pub(super) fn left_unanswered(&mut self, id: RequestId, out: &mut Vec<Output>) {
-        if self
-            .requests
-            .get(&id)
-            .is_some_and(|r| r.standing == KeyState::Waiting && r.out.is_none())
-        {
-            debug_assert!(false, "the module left request {} without an answer", id.0);
-            self.events.push_back(Event::ClientLeft(id));
-            let failure = self.requests[&id].failure;
-            self.answer_waiting(id, Answer::Failed(failure), out);
+    /// Answers a request that waits without an outstanding attempt, since it would never be answered. The policy decides on
+    /// each such request at once; the core answers should it ever not.
+    pub(super) fn fail_if_unanswered(&mut self, id: RequestId, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        if !matches!(request.phase, RequestPhase::Waiting(None)) {
+            return;
         }
+        debug_assert!(false, "the policy left request {} without an answer", id.0);
+        let failure = request.failure;
+        self.emit(Event::ClientLeft(id));
+        self.answer_waiting(id, Answer::Failed(failure), out);
     }
 
-    pub(super) fn attempt_ended(
+    /// An attempt ended before its session was established; the policy decides whether to retry.
+    pub(super) fn attempt_failed(
         &mut self,
         attempt: AttemptId,
         outcome: AttemptOutcome,
         report: LoadReport,
     ) {
-        let waits = |id| {
-            self.requests
-                .get(id)
-                .is_some_and(|r| r.standing == KeyState::Waiting)
+        let Some((_, request)) = self.request_of(attempt) else {
+            return;
         };
-        if self.attempts.get(&attempt).is_some_and(waits) {
-            self.attempt_over(attempt, outcome, false, report);
+        if request.is_waiting() {
+            self.conclude_attempt(attempt, SessionEnd { outcome, report }, false);
         }
     }
 
-    /// An attempt is no more, played or not: the module hears of it once.
-    pub(super) fn attempt_over(
-        &mut self,
-        attempt: AttemptId,
-        outcome: AttemptOutcome,
-        closed: bool,
-        report: LoadReport,
-    ) {
-        let Some(request) = self.attempts.remove(&attempt) else {
+    /// The request of an outstanding attempt.
+    pub(super) fn request_of(&mut self, attempt: AttemptId) -> Option<(RequestId, &mut Request)> {
+        let id = *self.attempts.get(&attempt)?;
+        let request = self.requests.get_mut(&id)?;
+        Some((id, request))
+    }
+
+    /// Removes an attempt, established or not, and reports it to the policy once. `is_final`: no retry may follow.
+    pub(super) fn conclude_attempt(&mut self, attempt: AttemptId, end: SessionEnd, is_final: bool) {
+        let Some(id) = self.attempts.remove(&attempt) else {
             return;
         };
-        let Some(r) = self.requests.get_mut(&request) else {
+        let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        let Some((_, server, _)) = r.out.take() else {
+        let Some(outstanding) = request.outstanding_attempt() else {
             return;
         };
-        r.ran |= !keys::never_ran(outcome);
-        r.failure = match outcome {
-            AttemptOutcome::ServerError => FailureReason::ServerError,
-            AttemptOutcome::Reset => FailureReason::ConnectionLost,
-            AttemptOutcome::Cancelled => FailureReason::Cancelled,
-            _ => FailureReason::NoAnswer,
-        };
-        let number = r.attempts.saturating_sub(1);
-        self.events.push_back(Event::AttemptEnded {
-            request,
+        if request.is_waiting() {
+            request.phase = RequestPhase::Waiting(None);
+        }
+        request.may_have_run |= !keys::never_ran(end.outcome);
+        request.failure = failure_reason(end.outcome);
+        let number = request.last_attempt_number();
+        self.emit(Event::AttemptEnded {
+            request: id,
             attempt: number,
-            server,
-            outcome,
-            is_final: closed,
-            report,
+            server: outstanding.server,
+            outcome: end.outcome,
+            is_final,
+            report: end.report,
         });
     }
+}
 
-    pub(super) fn note(&mut self, attempt: AttemptId, note: SessionUpdate) {
-        let Some(request) = self.attempts.get(&attempt).copied() else {
-            return;
-        };
-        let Some(r) = self.requests.get_mut(&request) else {
-            return;
-        };
-        if r.standing == KeyState::Waiting {
-            // Danger: a server may tell of its link right before its answer. Dropped, the one fresh figure that each
-            // set-up brings would be lost, and links be believed lighter or heavier than they are.
-            if r.early_notes.len() < EARLY_NOTES {
-                r.early_notes.push(note);
-            }
-            return;
-        }
-        if let Some((_, server, _)) = r.out {
-            if let SessionUpdate::Rung(rung) = note {
-                r.rung = rung;
-            }
-            self.events.push_back(Event::SessionUpdated {
-                request,
-                server,
-                update: note,
-            });
-        }
+/// The answer to a set-up that started. Why not always `established`: a session that was cut meanwhile does not play, and
+/// its viewer would wait for ever; it ran, so it has failed. One that came to its end has played.
+fn answer_to_set_up(established: Answer, early_end: Option<&SessionEnd>) -> Answer {
+    if early_end.is_some_and(SessionEnd::was_cut) {
+        Answer::Failed(FailureReason::ConnectionLost)
+    } else {
+        established
     }
+}
 
-    /// A server says that a session is over, or is lost with all it had.
-    pub(super) fn over(
-        &mut self,
-        attempt: AttemptId,
-        outcome: AttemptOutcome,
-        report: LoadReport,
-        out: &mut Vec<Output>,
-    ) {
-        let Some(id) = self.attempts.get(&attempt).copied() else {
-            return;
-        };
-        let Some(r) = self.requests.get_mut(&id) else {
-            return;
-        };
-        if r.standing == KeyState::Waiting {
-            // Danger: the answer and the end come over two connections, or together. An end that overtakes its answer
-            // would be lost, and the session would play for ever.
-            r.early = Some((outcome, report));
-            return;
-        }
-        let player = r.player;
-        if self.end_playing(id, outcome, report, RequestOutcome::Played, None) {
-            let reason = if outcome == AttemptOutcome::Completed {
-                SessionEndReason::Finished
-            } else {
-                SessionEndReason::ServerLost
-            };
-            let advice = if outcome == AttemptOutcome::Completed {
-                0
-            } else {
-                self.overload.retry_after(jitter(id.0))
-            };
-            out.extend(
-                player.map(|p| Output::Notify(p, id, Notification::SessionEnded(reason, advice))),
-            );
-        }
+fn failure_reason(outcome: AttemptOutcome) -> FailureReason {
+    match outcome {
+        AttemptOutcome::ServerError => FailureReason::ServerError,
+        AttemptOutcome::Reset => FailureReason::ConnectionLost,
+        AttemptOutcome::Cancelled => FailureReason::Cancelled,
+        _ => FailureReason::NoAnswer,
     }
 }
--- a/crates/front/src/core/completion.rs
+++ b/crates/front/src/core/completion.rs
@@ -1,185 +1,121 @@
-//! Ends: of sessions, of waits, of what is kept of keys, and of the front.
-use super::{jitter, Core};
-use crate::input::{Answer, FailureReason, Notification, Output, RejectReason, SessionEndReason};
-use crate::keys::{self, KeyState, ReopenDecision, RequestOutcome};
-use crate::timers::Due;
-use crankpaddle::{AttemptOutcome, Event, LoadReport, RequestId, Time};
+//! The end of requests: of sessions that play and of requests that wait.
+use super::request::{OutstandingAttempt, RequestPhase, SessionEnd};
+use super::Core;
+use crate::keys::RequestOutcome;
+use crate::output::{Answer, Output};
+use crankpaddle::{AttemptOutcome, Event, LoadReport, RequestId};
+
+impl SessionEnd {
+    /// An end without a load report, since no server reported it.
+    pub(super) fn without_report(outcome: AttemptOutcome) -> SessionEnd {
+        SessionEnd {
+            outcome,
+            report: LoadReport::new(),
+        }
+    }
+}
 
 impl Core {
-    /// Ends a playing session; with `teardown` its server is told. False if it does not play.
-    pub(super) fn end_playing(
+    /// Ends a playing session at its server. Returns whether it played.
+    pub(super) fn tear_down(
         &mut self,
         id: RequestId,
         outcome: AttemptOutcome,
-        report: LoadReport,
-        past: RequestOutcome,
-        teardown: Option<&mut Vec<Output>>,
+        request_outcome: RequestOutcome,
+        out: &mut Vec<Output>,
     ) -> bool {
-        let Some(r) = self.requests.get_mut(&id) else {
+        let Some(request) = self.requests.get(&id) else {
             return false;
         };
-        let (KeyState::Playing, Some((attempt, server, _))) = (r.standing, r.out) else {
+        let Some(attempt) = request.playing_attempt() else {
             return false;
         };
-        if let Some(out) = teardown {
-            out.push(Output::TearDown(attempt, server));
-        }
-        r.standing = KeyState::Ended(past);
-        let player = r.player.take();
+        out.push(Output::TearDown(attempt.id, attempt.server));
+        self.end_playing(id, SessionEnd::without_report(outcome), request_outcome)
+    }
+
+    /// Ends a playing session that its server has ended. Returns whether it played.
+    pub(super) fn end_playing(
+        &mut self,
+        id: RequestId,
+        end: SessionEnd,
+        request_outcome: RequestOutcome,
+    ) -> bool {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return false;
+        };
+        let Some(attempt) = request.playing_attempt() else {
+            return false;
+        };
+        let player = request.player.take();
         self.playing -= 1;
-        self.attempt_over(attempt, outcome, true, report);
+        self.conclude_attempt(attempt.id, end, true);
+        self.set_ended(id, request_outcome);
         self.detach(id, player, false);
-        self.keep_or_forget(id);
+        self.retain_or_remove(id);
         true
     }
 
+    /// Answers a request that waits without an outstanding attempt, and ends it.
     pub(super) fn answer_waiting(&mut self, id: RequestId, answer: Answer, out: &mut Vec<Output>) {
-        let Some(r) = self
-            .requests
-            .get_mut(&id)
-            .filter(|r| r.standing == KeyState::Waiting)
-        else {
+        let Some(request) = self.requests.get(&id) else {
             return;
         };
-        debug_assert!(r.out.is_none(), "an answer while an attempt is out");
-        let single = self
-            .settings
-            .classes
-            .get(usize::from(r.ask.class))
-            .map(|c| c.idempotency)
-            == Some(crankpaddle::Idempotency::AtMostOnce);
-        // The last guard before the player: a refusal says that nothing ran.
+        if !request.is_waiting() {
+            return;
+        }
+        debug_assert!(
+            request.waiting_attempt().is_none(),
+            "an answer while an attempt is outstanding"
+        );
+        let ran_once = request.may_have_run && self.is_paid(request.session.class);
+        // The last check before the player: a rejection states that nothing ran.
         let answer = match answer {
-            Answer::Rejected(..) if single && r.ran => Answer::Failed(r.failure),
+            Answer::Rejected(..) if ran_once => Answer::Failed(request.failure),
             other => other,
         };
-        let past = if matches!(answer, Answer::Rejected(..)) {
-            RequestOutcome::Rejected
-        } else {
-            RequestOutcome::Failed
+        let outcome = match answer {
+            Answer::Rejected(..) => RequestOutcome::Rejected,
+            _ => RequestOutcome::Failed,
         };
-        let call = r.call.take();
-        out.extend(call.map(|c| Output::Answer(c, answer)));
-        self.close_waiting(id, past);
+        if let Some(call) = request.call {
+            out.push(Output::Answer(call, answer));
+        }
+        self.end_waiting(id, outcome);
     }
 
-    pub(super) fn close_waiting(&mut self, id: RequestId, past: RequestOutcome) {
-        let Some(r) = self
-            .requests
-            .get_mut(&id)
-            .filter(|r| r.standing == KeyState::Waiting)
-        else {
-            return;
-        };
-        r.standing = KeyState::Ended(past);
-        r.call = None;
-        let player = r.player.take();
-        self.waiting -= 1;
-        self.detach(id, player, true);
-        self.keep_or_forget(id);
+    /// Cancels the outstanding attempt of a request that waits; no retry follows.
+    pub(super) fn withdraw_attempt(
+        &mut self,
+        id: RequestId,
+        attempt: OutstandingAttempt,
+        out: &mut Vec<Output>,
+    ) {
+        out.push(Output::AbandonAttempt(attempt.id, attempt.server));
+        self.emit(Event::ClientLeft(id));
+        let end = SessionEnd::without_report(AttemptOutcome::Cancelled);
+        self.conclude_attempt(attempt.id, end, true);
     }
 
-    /// What a key stood for is kept while it matters that it is not set up again, in bounded memory.
-    pub(super) fn keep_or_forget(&mut self, id: RequestId) {
-        let Some(r) = self.requests.get(&id) else {
-            return;
-        };
-        let KeyState::Ended(past) = r.standing else {
+    /// Ends a request that waits, without an answer.
+    pub(super) fn end_waiting(&mut self, id: RequestId, outcome: RequestOutcome) {
+        let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        let effect = self
-            .settings
-            .classes
-            .get(usize::from(r.ask.class))
-            .map(|c| c.idempotency);
-        if past != RequestOutcome::Migrated
-            && keys::reopen(r.standing, effect) == ReopenDecision::StartNew
-        {
-            return self.forget(id);
-        }
-        // Danger: a timer set for a time long past makes whoever drives the core believe that it stood still. A session
-        // that played for longer than its key is kept would set one at its end.
-        let until = r.gives_up.0.saturating_add(self.terms.key_retention);
-        if self.terms.max_retained_keys == 0 || until <= self.now.0 {
-            return self.forget(id);
-        }
-        self.timers.set(Time(until), Due::Forget(id));
-        self.kept.push_back(id);
-        while self.kept.len() > self.terms.max_retained_keys {
-            if let Some(oldest) = self.kept.pop_front() {
-                self.forget(oldest);
-            }
-        }
-    }
-
-    pub(super) fn forget(&mut self, id: RequestId) {
-        if !self
-            .requests
-            .get(&id)
-            .is_some_and(|r| matches!(r.standing, KeyState::Ended(_)))
-        {
+        if !request.is_waiting() {
             return;
         }
-        if let Some(r) = self.requests.remove(&id) {
-            let named = (r.ask.tenant, r.key);
-            if self.keys.get(&named) == Some(&id) {
-                self.keys.remove(&named);
-            }
-        }
+        request.phase = RequestPhase::Ended(outcome);
+        request.call = None;
+        let player = request.player.take();
+        self.waiting -= 1;
+        self.detach(id, player, true);
+        self.retain_or_remove(id);
     }
 
-    pub(super) fn stop(&mut self, out: &mut Vec<Output>) {
-        self.draining = true;
-        for held in self.held.take_all() {
-            let advice = self
-                .overload
-                .retry_after(jitter(held.call.player.0 ^ held.call.number));
-            out.push(Output::Answer(
-                held.call,
-                self.not_served(&held.open, advice),
-            ));
-        }
-        let ids: Vec<RequestId> = self.requests.keys().copied().collect();
-        for id in ids {
-            let Some(r) = self.requests.get(&id) else {
-                continue;
-            };
-            let (player, call, at) = (r.player, r.call, r.out);
-            match (r.standing, at) {
-                (KeyState::Waiting, Some((attempt, server, _))) => {
-                    out.push(Output::AbandonAttempt(attempt, server));
-                    self.events.push_back(Event::ClientLeft(id));
-                    self.attempt_over(attempt, AttemptOutcome::Cancelled, true, LoadReport::new());
-                    out.extend(
-                        call.map(|c| Output::Answer(c, Answer::Failed(FailureReason::Cancelled))),
-                    );
-                    self.close_waiting(id, RequestOutcome::Failed);
-                }
-                (KeyState::Playing, _) => {
-                    let advice = self.overload.retry_after(jitter(id.0));
-                    self.end_playing(
-                        id,
-                        AttemptOutcome::Cancelled,
-                        LoadReport::new(),
-                        RequestOutcome::Played,
-                        Some(out),
-                    );
-                    let over = Notification::SessionEnded(SessionEndReason::ShuttingDown, advice);
-                    out.extend(player.map(|p| Output::Notify(p, id, over)));
-                }
-                // The module has not decided yet what becomes of it.
-                (KeyState::Waiting, None) => {
-                    self.events.push_back(Event::ClientLeft(id));
-                    let advice = self.overload.retry_after(jitter(id.0));
-                    let answer = if r.ran {
-                        Answer::Failed(FailureReason::Cancelled)
-                    } else {
-                        Answer::Rejected(RejectReason::ShuttingDown, advice)
-                    };
-                    self.answer_waiting(id, answer, out);
-                }
-                (KeyState::Ended(_), _) => {}
-            }
+    fn set_ended(&mut self, id: RequestId, outcome: RequestOutcome) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.phase = RequestPhase::Ended(outcome);
         }
     }
 }
--- /dev/null
+++ b/crates/front/src/core/dispatch.rs
@@ -0,0 +1,102 @@
+//! Dispatch of inputs to their handlers.
+use super::Core;
+use crate::input::Input;
+use crate::output::Output;
+use crankpaddle::{AttemptOutcome, CrossZonePolicy, Event, LoadReport, ServerId, Time};
+
+impl Core {
+    /// Handles `input` at `now` and adds to `out` what follows from it whatever the policy decides: answers of servers
+    /// that are passed on, ends, withdrawals. Carry these out, handle further inputs, and only then call
+    /// [`Core::decide`]. Only further inputs may come between an input and its decision.
+    ///
+    /// Why: an answer that waits for the policy's work on the same event (sizing, promotions), or on those received before
+    /// it, reaches a viewer who has just left; on a small share of a core some tens of microseconds become half a
+    /// millisecond. Ends that overtake answers are covered as well. The price: the policy handles the other inputs of a
+    /// batch as late as the batch takes to be received.
+    pub fn handle_input(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        self.now = now;
+        self.dispatch(input, out);
+    }
+
+    fn dispatch(&mut self, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Open {
+                call,
+                open,
+                received,
+            } => self.open_received(call, open, received, out),
+            Input::Resume { call, tenant, key } => self.resume(call, tenant, key, out),
+            Input::Close { call, session } => self.close(call, session, out),
+            Input::Adopt {
+                player,
+                open,
+                server,
+            } => self.adopt(player, open, server, out),
+            Input::Leave(player) => self.leave(player, out),
+            Input::PlayerDisconnected(player) => self.player_disconnected(player),
+            Input::EndpointList(kind, list) => self.emit(Event::EndpointList(kind, list)),
+            Input::SetUpCompleted(id, result) => self.set_up_completed(id, result, out),
+            Input::SendDeferred(id, is_deferred) => self.send_deferred(id, is_deferred),
+            Input::SessionUpdated(id, update) => self.session_updated(id, update),
+            Input::SessionEnded(id, outcome, report) => {
+                self.session_ended(id, outcome, report, out);
+            }
+            Input::CrossZonePolicyChanged {
+                zone,
+                class,
+                leave: policy,
+            } => self.cross_zone_policy_changed(zone, class, policy),
+            Input::RateCapped(id, is_capped) => self.rate_capped(id, is_capped),
+            Input::HealthCheckCompleted(server, outcome, report) => {
+                self.health_check_completed(server, outcome, report);
+            }
+            Input::FleetSizeChanged(known_fronts) => self.fleet_size_changed(known_fronts),
+            Input::EndpointsKnown => self.endpoints_known(out),
+            Input::ReconciliationCompleted => self.reconciliation_completed(out),
+            Input::ServiceResumed => self.serve_queued(out),
+            Input::KeyUnresolved { tenant, key } => self.key_unresolved(tenant, key),
+            Input::KeyResolved {
+                tenant,
+                key,
+                class,
+                past: outcome,
+            } => self.key_resolved(tenant, key, class, outcome),
+            Input::SessionFound {
+                token,
+                open,
+                server,
+            } => self.session_found(token, open, server, out),
+            Input::Drain => self.draining = true,
+            Input::Stop => self.stop(out),
+        }
+    }
+
+    fn cross_zone_policy_changed(&mut self, zone: u8, class: u8, policy: CrossZonePolicy) {
+        match policy {
+            CrossZonePolicy::Forbidden => {
+                self.cross_zone_forbidden.insert((zone, class));
+            }
+            CrossZonePolicy::Allowed | CrossZonePolicy::LastResort => {
+                self.cross_zone_forbidden.remove(&(zone, class));
+            }
+        }
+        self.emit(Event::CrossZonePolicyChanged {
+            zone,
+            class,
+            policy,
+        });
+    }
+
+    fn health_check_completed(
+        &mut self,
+        server: ServerId,
+        outcome: AttemptOutcome,
+        report: LoadReport,
+    ) {
+        self.emit(Event::HealthCheckCompleted {
+            server,
+            outcome,
+            report,
+        });
+    }
+}
--- a/crates/front/src/core/invariants.rs
+++ b/crates/front/src/core/invariants.rs
@@ -1,56 +1,163 @@
-//! What must hold between any two calls.
+//! The invariants of a core's state.
+use super::request::{Request, RequestPhase};
 use super::Core;
-use crate::keys::KeyState;
+use crankpaddle::RequestId;
+
+/// An invariant of a core's state that does not hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum InvariantViolation {
+    /// The count of waiting requests differs from the requests that wait.
+    #[error("count of waiting requests")]
+    WaitingCount {
+        /// The count that the core keeps.
+        count: usize,
+        /// The requests that wait.
+        requests: usize,
+    },
+    /// The count of playing sessions differs from the sessions that play.
+    #[error("count of playing sessions")]
+    PlayingCount {
+        /// The count that the core keeps.
+        count: usize,
+        /// The sessions that play.
+        sessions: usize,
+    },
+    /// A request waits without an outstanding attempt.
+    #[error("request {}: Waiting with attempt None", .0 .0)]
+    WaitingWithoutAttempt(RequestId),
+    /// A request has ended, but a call waits for its answer or a player is attached to it.
+    #[error("request {}: past and owed", .0 .0)]
+    EndedButAttached(RequestId),
+    /// The attempt of a request does not lead back to it.
+    #[error("request {}: its attempt is not known", .0 .0)]
+    UnknownAttempt(RequestId),
+    /// A request is not among those of its player.
+    #[error("request {}: not with its player", .0 .0)]
+    NotWithPlayer(RequestId),
+    /// There are attempts that belong to no request that waits or plays.
+    #[error("attempts that belong to nothing")]
+    OrphanedAttempts {
+        /// The outstanding attempts.
+        attempts: usize,
+        /// The requests that wait or play.
+        requests: usize,
+    },
+    /// Players count more waiting requests than there are.
+    #[error("players wait for more than there is")]
+    PlayersWaitingCount {
+        /// The sum of the players' counts.
+        of_players: usize,
+        /// The requests that wait.
+        waiting: usize,
+    },
+    /// There are more keys than requests.
+    #[error("keys of forgotten requests")]
+    OrphanedKeys {
+        /// The known keys.
+        keys: usize,
+        /// The known requests.
+        requests: usize,
+    },
+}
 
 impl Core {
-    /// What must hold between any two calls, whatever was heard; says what does not.
-    pub fn check(&self) -> Result<(), String> {
-        let sound = |holds: bool, what: &str| if holds { Ok(()) } else { Err(what.to_owned()) };
-        let count = |s: KeyState| self.requests.values().filter(|r| r.standing == s).count();
-        sound(
-            count(KeyState::Waiting) == self.waiting,
-            "count of waiting requests",
-        )?;
-        sound(
-            count(KeyState::Playing) == self.playing,
-            "count of playing sessions",
-        )?;
-        for (id, r) in &self.requests {
-            let past = matches!(r.standing, KeyState::Ended(_));
-            sound(
-                past == r.out.is_none(),
-                &format!(
-                    "request {}: {:?} with attempt {:?}",
-                    id.0, r.standing, r.out
-                ),
-            )?;
-            sound(
-                !past || (r.call.is_none() && r.player.is_none()),
-                &format!("request {}: past and owed", id.0),
-            )?;
-            let back = r
-                .out
-                .is_none_or(|(a, _, _)| self.attempts.get(&a) == Some(id));
-            sound(back, &format!("request {}: its attempt is not known", id.0))?;
-            let held = r.player.is_none_or(|p| {
-                self.players
-                    .get(&p)
-                    .is_some_and(|p| p.requests.contains(id))
-            });
-            sound(held, &format!("request {}: not with its player", id.0))?;
+    /// Checks what must hold between any two calls, whatever the inputs were.
+    ///
+    /// # Errors
+    ///
+    /// The first invariant that does not hold.
+    pub fn check(&self) -> Result<(), InvariantViolation> {
+        self.check_counts()?;
+        for (id, request) in &self.requests {
+            self.check_request(*id, request)?;
         }
-        sound(
-            self.attempts.len() == self.waiting + self.playing,
-            "attempts that belong to nothing",
-        )?;
-        let of_players: usize = self.players.values().map(|p| p.waiting).sum();
-        sound(
-            of_players <= self.waiting,
-            "players wait for more than there is",
-        )?;
-        sound(
-            self.keys.len() <= self.requests.len(),
-            "keys of forgotten requests",
-        )
+        self.check_attempts()?;
+        self.check_players()?;
+        self.check_keys()
+    }
+
+    fn check_counts(&self) -> Result<(), InvariantViolation> {
+        let requests = self.count_phase(|phase| matches!(phase, RequestPhase::Waiting(_)));
+        ensure(requests == self.waiting, || {
+            InvariantViolation::WaitingCount {
+                count: self.waiting,
+                requests,
+            }
+        })?;
+        let sessions = self.count_phase(|phase| matches!(phase, RequestPhase::Playing(_)));
+        ensure(sessions == self.playing, || {
+            InvariantViolation::PlayingCount {
+                count: self.playing,
+                sessions,
+            }
+        })
+    }
+
+    fn count_phase(&self, is_counted: impl Fn(RequestPhase) -> bool) -> usize {
+        self.requests
+            .values()
+            .filter(|request| is_counted(request.phase))
+            .count()
+    }
+
+    fn check_request(&self, id: RequestId, request: &Request) -> Result<(), InvariantViolation> {
+        let is_undecided = matches!(request.phase, RequestPhase::Waiting(None));
+        ensure(!is_undecided, || {
+            InvariantViolation::WaitingWithoutAttempt(id)
+        })?;
+        let has_ended = matches!(request.phase, RequestPhase::Ended(_));
+        let is_attached = request.call.is_some() || request.player.is_some();
+        ensure(!(has_ended && is_attached), || {
+            InvariantViolation::EndedButAttached(id)
+        })?;
+        let attempt_known = request
+            .outstanding_attempt()
+            .is_none_or(|attempt| self.attempts.get(&attempt.id) == Some(&id));
+        ensure(attempt_known, || InvariantViolation::UnknownAttempt(id))?;
+        let with_player = request.player.is_none_or(|player| {
+            self.players
+                .get(&player)
+                .is_some_and(|player| player.requests.contains(&id))
+        });
+        ensure(with_player, || InvariantViolation::NotWithPlayer(id))
+    }
+
+    fn check_attempts(&self) -> Result<(), InvariantViolation> {
+        let attempts = self.attempts.len();
+        let requests = self.waiting + self.playing;
+        ensure(attempts == requests, || {
+            InvariantViolation::OrphanedAttempts { attempts, requests }
+        })
+    }
+
+    fn check_players(&self) -> Result<(), InvariantViolation> {
+        let of_players = self.players.values().map(|player| player.waiting).sum();
+        let waiting = self.waiting;
+        ensure(of_players <= waiting, || {
+            InvariantViolation::PlayersWaitingCount {
+                of_players,
+                waiting,
+            }
+        })
+    }
+
+    fn check_keys(&self) -> Result<(), InvariantViolation> {
+        let keys = self.keys.len();
+        let requests = self.requests.len();
+        ensure(keys <= requests, || InvariantViolation::OrphanedKeys {
+            keys,
+            requests,
+        })
+    }
+}
+
+fn ensure(
+    holds: bool,
+    violation: impl FnOnce() -> InvariantViolation,
+) -> Result<(), InvariantViolation> {
+    if holds {
+        Ok(())
+    } else {
+        Err(violation())
     }
 }
--- /dev/null
+++ b/crates/front/src/core/sessions.rs
@@ -0,0 +1,101 @@
+//! What servers report on playing sessions, and the rate caps on them.
+use super::request::{RequestPhase, SessionEnd};
+use super::Core;
+use crate::ids::{AttemptId, PlayerId};
+use crate::jitter::jitter;
+use crate::keys::RequestOutcome;
+use crate::output::{Notification, Output, SessionEndReason};
+use crankpaddle::{AttemptOutcome, Event, LoadReport, RequestId, SessionUpdate};
+
+/// Most updates kept of a session whose set-up is not answered yet.
+const MAX_EARLY_UPDATES: usize = 8;
+
+impl Core {
+    pub(super) fn session_updated(&mut self, attempt: AttemptId, update: SessionUpdate) {
+        let Some((id, request)) = self.request_of(attempt) else {
+            return;
+        };
+        match request.phase {
+            RequestPhase::Waiting(_) => {
+                // Why: a server may report its link's load right before its answer. If that update were dropped, the one
+                // fresh figure that each set-up brings would be lost, and the load of links be estimated wrongly.
+                if request.early_updates.len() < MAX_EARLY_UPDATES {
+                    request.early_updates.push(update);
+                }
+            }
+            RequestPhase::Playing(playing) => {
+                if let SessionUpdate::Rung(rung) = update {
+                    request.rung = rung;
+                }
+                self.emit(Event::SessionUpdated {
+                    request: id,
+                    server: playing.server,
+                    update,
+                });
+            }
+            RequestPhase::Ended(_) => {}
+        }
+    }
+
+    /// A server reports the end of a session, or was lost with it.
+    pub(super) fn session_ended(
+        &mut self,
+        attempt: AttemptId,
+        outcome: AttemptOutcome,
+        report: LoadReport,
+        out: &mut Vec<Output>,
+    ) {
+        let Some((id, request)) = self.request_of(attempt) else {
+            return;
+        };
+        let end = SessionEnd { outcome, report };
+        if request.is_waiting() {
+            // Why: the answer and the end come over two connections, or together. If an end that overtakes its answer
+            // were dropped, the session would play for ever.
+            request.early_end = Some(end);
+            return;
+        }
+        let player = request.player;
+        if !self.end_playing(id, end, RequestOutcome::Played) {
+            return;
+        }
+        if let Some(player) = player {
+            self.notify_ended(player, id, outcome, out);
+        }
+    }
+
+    fn notify_ended(
+        &self,
+        player: PlayerId,
+        id: RequestId,
+        outcome: AttemptOutcome,
+        out: &mut Vec<Output>,
+    ) {
+        let notification = if outcome == AttemptOutcome::Completed {
+            Notification::SessionEnded(SessionEndReason::Finished, 0)
+        } else {
+            let retry_after = self.overload.retry_after(jitter(id.0));
+            Notification::SessionEnded(SessionEndReason::ServerLost, retry_after)
+        };
+        out.push(Output::Notify(player, id, notification));
+    }
+
+    /// Limits a playing session to its lowest rung, or lifts that limit.
+    pub(super) fn rate_capped(&mut self, attempt: AttemptId, is_capped: bool) {
+        let Some((id, request)) = self.request_of(attempt) else {
+            return;
+        };
+        if request.playing_attempt().is_none() {
+            return;
+        }
+        let max_rung = if is_capped {
+            0
+        } else {
+            request.session.max_rung
+        };
+        self.emit(Event::MaxRungChanged {
+            request: id,
+            max_rung,
+        });
+    }
+}
--- /dev/null
+++ b/crates/front/src/core/set_up.rs
@@ -0,0 +1,106 @@
+//! Starting attempts at servers.
+use super::request::{OutstandingAttempt, Request, RequestPhase};
+use super::Core;
+use crate::ids::AttemptId;
+use crate::output::{Output, SetUpOrder};
+use crate::timers::TimerEntry;
+use crankpaddle::{AttemptOutcome, Event, LoadReport, RequestId, ServerId, Time};
+
+impl Core {
+    /// Whether an outstanding attempt that was not sent yet may still be sent: to be asked right before, since its
+    /// connection may have taken long to be established. Call it after [`Core::decide`], so that all inputs count.
+    #[must_use]
+    pub fn may_send(&self, now: Time, attempt: AttemptId) -> bool {
+        let Some(id) = self.attempts.get(&attempt) else {
+            return false;
+        };
+        let Some(request) = self.requests.get(id) else {
+            return false;
+        };
+        let is_outstanding = request
+            .waiting_attempt()
+            .is_some_and(|outstanding| outstanding.id == attempt);
+        is_outstanding && now < request.gives_up_at && self.policy.may_send(now, *id)
+    }
+
+    /// Starts an attempt; `timeout` in nanoseconds, 0: until the request must be answered.
+    pub(super) fn start_attempt(
+        &mut self,
+        request: RequestId,
+        server: ServerId,
+        timeout: u64,
+        out: &mut Vec<Output>,
+    ) {
+        if !self.may_start_attempt(request) {
+            return self.report_not_sent(request, server);
+        }
+        let id = self.next_attempt_id();
+        let timeout_at = (timeout > 0).then(|| Time(self.now.0.saturating_add(timeout)));
+        let attempt = OutstandingAttempt {
+            id,
+            server,
+            started_at: self.now,
+            is_deferred: false,
+        };
+        let Some(waiting) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let number = waiting.attempt_count;
+        let order = waiting.begin_attempt(attempt);
+        let deadline = waiting.session.deadline;
+        if let Some(at) = timeout_at {
+            self.timers.set(at, TimerEntry::AttemptTimeout(id));
+        }
+        self.attempts.insert(id, request);
+        out.push(Output::StartSetUp {
+            attempt: id,
+            request,
+            number,
+            server,
+            order,
+            until: timeout_at.map_or(deadline, |at| at.min(deadline)),
+        });
+    }
+
+    /// The last check before an attempt is sent, whatever was decided: one outstanding attempt at a time, none for an
+    /// answered request, none for a paid one that may have run.
+    fn may_start_attempt(&self, id: RequestId) -> bool {
+        let Some(request) = self.requests.get(&id) else {
+            return false;
+        };
+        let would_run_twice = request.may_have_run && self.is_paid(request.session.class);
+        request.is_waiting()
+            && request.waiting_attempt().is_none()
+            && !would_run_twice
+            && self.now < request.session.deadline
+    }
+
+    /// Reports to the policy that its attempt was not sent, so that it does not count it as outstanding for ever. This also
+    /// happens where the viewer left between an input and the decision on it.
+    fn report_not_sent(&mut self, id: RequestId, server: ServerId) {
+        let request = self.requests.get(&id);
+        self.emit(Event::AttemptEnded {
+            request: id,
+            attempt: request.map_or(0, |request| request.attempt_count),
+            server,
+            outcome: AttemptOutcome::NotSent,
+            is_final: !request.is_some_and(Request::is_waiting),
+            report: LoadReport::new(),
+        });
+    }
+}
+
+impl Request {
+    /// Makes `attempt` the outstanding one; what its server is requested to set up.
+    fn begin_attempt(&mut self, attempt: OutstandingAttempt) -> SetUpOrder {
+        self.attempt_count = self.attempt_count.saturating_add(1);
+        self.phase = RequestPhase::Waiting(Some(attempt));
+        SetUpOrder {
+            key: self.key.clone(),
+            class: self.session.class,
+            tenant: self.session.tenant,
+            title: self.session.title,
+            rung: self.rung,
+        }
+    }
+}
--- a/crates/front/src/core/startup_recovery.rs
+++ b/crates/front/src/core/startup_recovery.rs
@@ -1,246 +1,192 @@
-//! After a power loss: who waits until what was begun is settled, and which keys of former lives ran.
-use super::{jitter, Core, Request};
-use crate::input::{Answer, Call, FailureReason, OpenRequest, Output, RejectReason};
-use crate::keys::{KeyState, RequestOutcome};
-use crate::overload::AdmissionDecision as Load;
-use crate::recovery_queue::Held;
-use crate::timers::Due;
-use crankpaddle::{Event, Idempotency as Kind, RequestId, ServerId, SessionRequest, Time};
+//! Staged recovery after a power loss: which requests wait for reconciliation, and how many fronts are assumed.
+use super::request::SessionKey;
+use super::Core;
+use crate::input::OpenRequest;
+use crate::jitter::jitter;
+use crate::output::{Answer, FailureReason, Output, RejectReason};
+use crate::overload::AdmissionDecision;
+use crate::recovery_queue::{OpenCall, QueuedOpen};
+use crate::timers::TimerEntry;
+use crankpaddle::{Event, Time};
 use crankpaddle_recovery::{Admission, ConservativeBound, RecoveryStage, StagedRecovery};
 
+/// What becomes of an open while the front recovers.
+pub(super) enum RecoveryDecision {
+    /// It is served as usual.
+    Serve,
+    /// It waits in the recovery queue.
+    Queued,
+    /// It is answered at once.
+    Answered(Answer),
+}
+
 impl Core {
-    /// Service returns as this says. `sound`: all paid set-ups that may have left were kept; `fleet`: how many fronts there were.
-    /// Call before anything is heard.
+    /// Starts with a staged recovery; to be called before the first input. `intents_complete`: all paid set-ups that may have
+    /// left were persisted; `previous_fronts`: how many fronts there were.
     pub fn begin_recovery(
         &mut self,
-        returning: StagedRecovery,
-        sound: bool,
-        fleet: ConservativeBound<u32>,
+        staged_recovery: StagedRecovery,
+        intents_complete: bool,
+        previous_fronts: ConservativeBound<u32>,
     ) {
-        (self.steps_told, self.sound, self.fleet) = (returning.steps().len(), sound, fleet);
-        self.returning = returning;
-        self.reckon();
-        self.returning
-            .next_expiry()
-            .into_iter()
-            .for_each(|at| self.timers.set(Time(at), Due::Stage));
+        self.reported_steps = staged_recovery.steps().len();
+        self.intents_complete = intents_complete;
+        self.previous_fronts = previous_fronts;
+        self.staged_recovery = staged_recovery;
+        self.update_replica_count();
+        self.set_stage_timer();
     }
 
-    /// How far service is back.
+    /// The stage of the recovery.
+    #[must_use]
     pub fn stage(&self) -> RecoveryStage {
-        self.returning.stage()
+        self.staged_recovery.stage()
     }
 
-    /// How service returns.
+    /// The staged recovery.
+    #[must_use]
     pub fn recovery(&self) -> &StagedRecovery {
-        &self.returning
+        &self.staged_recovery
     }
 
-    /// Requests that wait until it is known what was begun.
+    /// Number of requests that wait for reconciliation.
+    #[must_use]
     pub fn queued_for_recovery(&self) -> usize {
-        self.held.len()
-    }
-
-    pub(super) fn is_paid(&self, class: u8) -> bool {
-        self.settings
-            .classes
-            .get(usize::from(class))
-            .map(|c| c.idempotency)
-            == Some(Kind::AtMostOnce)
-    }
-
-    /// Danger: a fleet that grew beyond its configuration takes more than the whole of each limit that is cut into parts, the pace at
-    /// cold servers first; and after a power loss forty fronts come back as eleven that know of each other, while the others come
-    /// one by one. What peers say, and what was kept, may only make this front more careful: never is reckoned with fewer than
-    /// configured, nor, until servers had time to warm, with fewer than there were. Harm: a peer that lies makes it refuse more and
-    /// try less.
-    pub(super) fn reckon(&mut self) {
-        let heard = self.members.max(self.settings.replica_count);
-        let siblings = if self.stage() < RecoveryStage::Normal {
-            self.fleet.at_least(heard)
+        self.recovery_queue.len()
+    }
+
+    pub(super) fn fleet_size_changed(&mut self, known_fronts: u32) {
+        self.known_fronts = known_fronts;
+        self.update_replica_count();
+    }
+
+    pub(super) fn endpoints_known(&mut self, out: &mut Vec<Output>) {
+        self.staged_recovery.endpoints_known(self.now.0);
+        self.advance_recovery(out);
+    }
+
+    pub(super) fn reconciliation_completed(&mut self, out: &mut Vec<Output>) {
+        self.staged_recovery.reconciliation_completed(self.now.0);
+        self.advance_recovery(out);
+    }
+
+    /// Computes the number of fronts that the policy divides the limits by.
+    ///
+    /// Why it only makes this front more careful: a fleet that grew beyond its configuration exceeds each limit that is divided
+    /// into quotas, first the rate of set-ups at servers in slow start; and after a power loss forty fronts come back as
+    /// eleven that know of each other, while the others follow one by one. So peers and persisted state never make the
+    /// count smaller than configured, nor, until servers had time to warm up, smaller than before the loss. The price: a
+    /// peer that reports a wrong count makes this front reject more and attempt less.
+    fn update_replica_count(&mut self) {
+        let known = self.known_fronts.max(self.settings.replica_count);
+        let replica_count = if self.stage() < RecoveryStage::Normal {
+            self.previous_fronts.at_least(known)
         } else {
-            heard
+            known
         };
-        if siblings != self.siblings {
-            self.siblings = siblings;
-            self.events.push_back(Event::ReplicaCountChanged(siblings));
+        if replica_count != self.replica_count {
+            self.replica_count = replica_count;
+            self.emit(Event::ReplicaCountChanged(replica_count));
         }
     }
 
-    /// Takes the steps of returning service that are due.
-    pub(super) fn step(&mut self, now: Time, out: &mut Vec<Output>) {
-        self.returning.expire(now.0);
-        self.returning
-            .next_expiry()
-            .into_iter()
-            .for_each(|at| self.timers.set(Time(at), Due::Stage));
-        let taken = &self.returning.steps()[self.steps_told..];
-        out.extend(
-            taken
-                .iter()
-                .map(|(_, stage, why)| Output::StageReached(*stage, *why)),
-        );
-        self.steps_told = self.returning.steps().len();
-        self.reckon();
-    }
-
-    /// All that is known of servers was told: who was held is served.
-    pub(super) fn serve(&mut self, now: Time, out: &mut Vec<Output>) {
-        if self.stage() >= RecoveryStage::PaidOnly {
-            self.held
-                .take_all()
-                .for_each(|h| self.open(now, h.call, h.open, h.received, Some(now), out));
+    /// Advances the staged recovery as far as it is due, and reports the stages that it reached.
+    pub(super) fn advance_recovery(&mut self, out: &mut Vec<Output>) {
+        self.staged_recovery.expire(self.now.0);
+        self.set_stage_timer();
+        let steps = self.staged_recovery.steps();
+        for (_, stage, evidence) in &steps[self.reported_steps..] {
+            out.push(Output::StageReached(*stage, *evidence));
         }
+        self.reported_steps = steps.len();
+        self.update_replica_count();
     }
 
-    /// How many fronts the module reckons with.
-    pub fn replica_count(&self) -> u32 {
-        self.siblings
+    fn set_stage_timer(&mut self) {
+        if let Some(at) = self.staged_recovery.next_expiry() {
+            self.timers.set(Time(at), TimerEntry::RecoveryStage);
+        }
     }
 
-    /// What an open amounts to while service returns; `None`: it is served as ever.
-    pub(super) fn not_yet(
-        &mut self,
-        now: Time,
-        call: Call,
-        open: &OpenRequest,
-        received: Time,
-    ) -> Option<Option<Answer>> {
-        let paid = self.is_paid(open.class);
-        match self.returning.admit(now.0, paid) {
-            Admission::Serve => None,
-            Admission::Queue => Some(self.hold(now, call, open, received)),
+    /// Serves the queued requests, once everything that reconciliation found was handed in.
+    pub(super) fn serve_queued(&mut self, out: &mut Vec<Output>) {
+        if self.stage() < RecoveryStage::PaidOnly {
+            return;
+        }
+        for queued in self.recovery_queue.take_all() {
+            self.open(queued.opening, self.now, out);
+        }
+    }
+
+    /// Decides on an open while the front recovers.
+    pub(super) fn admit_during_recovery(&mut self, opening: &OpenCall) -> RecoveryDecision {
+        let is_paid = self.is_paid(opening.open.class);
+        match self.staged_recovery.admit(self.now.0, is_paid) {
+            Admission::Serve => RecoveryDecision::Serve,
+            Admission::Queue => self.queue_for_recovery(opening),
             Admission::RetryLater { after, over } => {
-                let known = self.keys.get(&(open.tenant, open.key.clone()));
-                if known.is_some() {
-                    return None; // What plays is taken up, what ran is said to have run.
+                if self.keys.contains_key(&SessionKey::from(&opening.open)) {
+                    // What plays is reattached, and what ran is answered as such.
+                    return RecoveryDecision::Serve;
                 }
-                let dice = jitter(call.player.0.rotate_left(32) ^ call.number);
-                let advice = after
-                    .saturating_add((over as f64 * dice) as u64)
+                let jitter = jitter(opening.call.player.0.rotate_left(32) ^ opening.call.number);
+                let retry_after = after
+                    .saturating_add((over as f64 * jitter) as u64)
                     .min(self.settings.max_retry_after);
-                Some(Some(self.not_served(open, advice)))
+                RecoveryDecision::Answered(self.not_served(&opening.open, retry_after))
             }
         }
     }
 
-    fn hold(
-        &mut self,
-        now: Time,
-        call: Call,
-        open: &OpenRequest,
-        received: Time,
-    ) -> Option<Answer> {
-        let of_player =
-            self.held.of(call.player) + self.players.get(&call.player).map_or(0, |p| p.waiting);
-        if self
+    fn queue_for_recovery(&mut self, opening: &OpenCall) -> RecoveryDecision {
+        let call = opening.call;
+        let pending = self.waiting();
+        let pending_of_player =
+            self.recovery_queue.count_of(call.player) + self.waiting_of(call.player);
+        let admission = self
             .overload
-            .admit(now, now, self.waiting + self.held.len(), of_player)
-            == Load::TooManyPending
-        {
-            let advice = self.overload.retry_after(jitter(call.number));
-            return Some(Answer::Rejected(RejectReason::TooManyPending, advice));
+            .admit(self.now, self.now, pending, pending_of_player);
+        if admission == AdmissionDecision::TooManyPending {
+            let retry_after = self.overload.retry_after(jitter(call.number));
+            let answer = Answer::Rejected(RejectReason::TooManyPending, retry_after);
+            return RecoveryDecision::Answered(answer);
         }
-        let (_, deadline) = self.patience(open, received);
-        self.held.push(Held {
-            call,
-            open: open.clone(),
-            received,
-            deadline,
+        let limits = self.answer_limits(&opening.open, opening.received_at);
+        self.recovery_queue.push(QueuedOpen {
+            opening: opening.clone(),
+            deadline: limits.deadline,
         });
-        self.timers.set(deadline, Due::Held);
-        None
-    }
-
-    /// What is said to who could not be served in time. Danger: a refusal says that nothing ran, and a former life may have run this
-    /// key. Harm: where the disk was lost, a paid request that is new is told that it failed.
-    pub(super) fn not_served(&self, open: &OpenRequest, advice: u64) -> Answer {
-        let named = (open.tenant, open.key.clone());
-        let sure = self.sound && !self.unsettled.contains(&named);
-        if self.is_paid(open.class) && !sure {
-            return Answer::Failed(FailureReason::NoAnswer);
-        }
-        Answer::Rejected(RejectReason::Recovering, advice)
-    }
-
-    /// Answers who can't wait any longer.
-    pub(super) fn held_too_long(&mut self, now: Time, out: &mut Vec<Output>) {
-        for held in self.held.take_due(now) {
-            let advice = self
-                .overload
-                .retry_after(jitter(held.call.player.0 ^ held.call.number));
-            out.push(Output::Answer(
-                held.call,
-                self.not_served(&held.open, advice),
-            ));
+        self.timers.set(limits.deadline, TimerEntry::RecoveryQueue);
+        RecoveryDecision::Queued
+    }
+
+    /// The answer to a request that could not be served in time. Why not always a rejection: it states that nothing ran, and
+    /// a previous incarnation may have run this key. The price: where the disk was lost, a new paid request is answered as
+    /// failed.
+    fn not_served(&self, open: &OpenRequest, retry_after: u64) -> Answer {
+        let is_known =
+            self.intents_complete && !self.unresolved_keys.contains(&SessionKey::from(open));
+        if self.is_paid(open.class) && !is_known {
+            Answer::Failed(FailureReason::NoAnswer)
+        } else {
+            Answer::Rejected(RejectReason::Recovering, retry_after)
         }
     }
 
-    /// A paid key of a former life of which nobody said yet whether it ran.
-    pub(super) fn unsettled(&mut self, tenant: u16, key: String) {
-        self.unsettled.insert((tenant, key));
+    /// Answers a request that left the recovery queue without being served.
+    pub(super) fn answer_queued(&self, opening: &OpenCall, out: &mut Vec<Output>) {
+        let call = opening.call;
+        let retry_after = self
+            .overload
+            .retry_after(jitter(call.player.0 ^ call.number));
+        let answer = self.not_served(&opening.open, retry_after);
+        out.push(Output::Answer(call, answer));
     }
 
-    /// What became of a paid key of a former life: it ran (`Some`), or never did.
-    pub(super) fn recovered(
-        &mut self,
-        tenant: u16,
-        key: String,
-        class: u8,
-        past: Option<RequestOutcome>,
-    ) {
-        let named = (tenant, key);
-        self.unsettled.remove(&named);
-        let known = self.keys.get(&named).copied();
-        let Some(past) = past else {
-            // What this life has begun under the key since is none of the former one's.
-            known.into_iter().for_each(|id| self.forget(id));
-            return;
-        };
-        if known.is_some() {
-            return;
+    /// Answers the queued requests that can wait no longer.
+    pub(super) fn answer_due_in_queue(&mut self, out: &mut Vec<Output>) {
+        for queued in self.recovery_queue.take_due(self.now) {
+            self.answer_queued(&queued.opening, out);
         }
-        self.last_request += 1;
-        let id = RequestId(self.last_request);
-        let ask = SessionRequest {
-            request: id,
-            tenant,
-            class,
-            ..SessionRequest::default()
-        };
-        let mut request = Request::new(ask, named.1.clone(), None, self.now);
-        (request.standing, request.ran) = (KeyState::Ended(past), true);
-        self.requests.insert(id, request);
-        self.keys.insert(named, id);
-        self.keep_or_forget(id);
-    }
-
-    /// A server holds a session that a former life set up: it is taken up, and waits for its viewer.
-    pub(super) fn found(
-        &mut self,
-        now: Time,
-        token: u64,
-        open: OpenRequest,
-        server: ServerId,
-        out: &mut Vec<Output>,
-    ) {
-        let named = (open.tenant, open.key.clone());
-        self.unsettled.remove(&named);
-        let Some((id, attempt)) = self.plays_already(now, open, server) else {
-            return out.push(Output::FoundSessionHandled {
-                token,
-                attempt: None,
-                server,
-            });
-        };
-        self.timers.set(
-            Time(now.0.saturating_add(self.terms.recovered_resume_window)),
-            Due::Away(id, 0),
-        );
-        out.push(Output::FoundSessionHandled {
-            token,
-            attempt: Some(attempt),
-            server,
-        });
     }
 }
--- a/crates/front/src/keys.rs
+++ b/crates/front/src/keys.rs
@@ -1,68 +1,69 @@
-//! What a key means that a player sends a second time.
+//! The meaning of an idempotency key that a player sends again.
 //!
-//! A key stands for one session: a player that lost its connection sends it again and must find the wait, the
-//! session or the answer that it left, never start a second set-up. Danger: for a paid class a second set-up is a
-//! second bill. Harm: a player that reuses one key for everything cannot buy again until the key is forgotten; it is
-//! told so.
+//! A key names one session: a player that lost its connection sends it again and must find its pending request, its
+//! session or the earlier answer, never start a second set-up. Why: for a paid class a second set-up is a second bill.
+//! The price: a player that uses one key for everything cannot buy again until the key's retention is over; the
+//! answer states so.
 use crankpaddle::{AttemptOutcome, Idempotency};
 
-/// How a request that is no more ended.
+/// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestOutcome {
-    /// Refused: nothing ever ran.
+    /// It was rejected: no attempt ever ran.
     Rejected,
-    /// Failed: an attempt may have run.
+    /// It failed: an attempt may have run.
     Failed,
-    /// It played and is over.
+    /// It was established and has ended.
     Played,
-    /// It was taken off its server by us and its viewer sent back here.
+    /// The front took it off its server and asked its viewer to open it again.
     Migrated,
 }
 
-/// Where the request with this key stands.
+/// The state of the request that a key names.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum KeyState {
-    /// No answer yet.
+    /// It has no answer yet.
     Waiting,
-    /// It plays.
+    /// Its session plays.
     Playing,
-    /// It is no more.
+    /// It has ended.
     Ended(RequestOutcome),
 }
 
-/// What to do with another open for the key.
+/// How to handle another open with a known key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReopenDecision {
-    /// Wait with the request that is under way.
+pub(crate) enum ReopenDecision {
+    /// Attach to the pending request.
     Join,
     /// Answer with the session that plays.
     Resume,
-    /// A new request; the viewer comes again.
+    /// Start a new request, as a retry of the viewer.
     StartNew,
-    /// A new request of a session that we moved.
+    /// Start a new request for a session that the front migrated.
     StartMigrated,
-    /// Answer as the first time: it failed, perhaps with effect.
+    /// Repeat the earlier answer: it failed, perhaps with an effect.
     FailedBefore,
-    /// Answer that the key's paid session played and is over.
+    /// Answer that the key's paid session has ended.
     KeySpent,
 }
 
-/// What another open with a known key amounts to.
-pub fn reopen(standing: KeyState, effect: Option<Idempotency>) -> ReopenDecision {
-    let free = matches!(effect, Some(Idempotency::Idempotent));
-    match standing {
+/// Decides on another open with a known key. Without a configured class (`None`) the set-up counts as paid.
+pub(crate) fn reopen(state: KeyState, idempotency: Option<Idempotency>) -> ReopenDecision {
+    let is_repeatable = matches!(idempotency, Some(Idempotency::Idempotent));
+    match state {
         KeyState::Waiting => ReopenDecision::Join,
         KeyState::Playing => ReopenDecision::Resume,
         KeyState::Ended(RequestOutcome::Rejected) => ReopenDecision::StartNew,
         KeyState::Ended(RequestOutcome::Migrated) => ReopenDecision::StartMigrated,
-        KeyState::Ended(RequestOutcome::Failed) if free => ReopenDecision::StartNew,
+        KeyState::Ended(RequestOutcome::Failed) if is_repeatable => ReopenDecision::StartNew,
         KeyState::Ended(RequestOutcome::Failed) => ReopenDecision::FailedBefore,
-        KeyState::Ended(RequestOutcome::Played) if free => ReopenDecision::StartNew,
+        KeyState::Ended(RequestOutcome::Played) if is_repeatable => ReopenDecision::StartNew,
         KeyState::Ended(RequestOutcome::Played) => ReopenDecision::KeySpent,
     }
 }
 
 /// Whether an outcome proves that the attempt never ran.
+#[must_use]
 pub fn never_ran(outcome: AttemptOutcome) -> bool {
     matches!(
         outcome,
@@ -71,52 +72,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_paid_key_never_leads_to_a_second_set_up_once_one_may_have_run() {
-        for standing in [
-            KeyState::Waiting,
-            KeyState::Playing,
-            KeyState::Ended(RequestOutcome::Failed),
-            KeyState::Ended(RequestOutcome::Played),
-        ] {
-            for effect in [None, Some(Idempotency::AtMostOnce)] {
-                let what = reopen(standing, effect);
-                assert!(
-                    !matches!(
-                        what,
-                        ReopenDecision::StartNew | ReopenDecision::StartMigrated
-                    ),
-                    "{standing:?} {effect:?}: {what:?}"
-                );
-            }
-        }
-        assert_eq!(
-            reopen(
-                KeyState::Ended(RequestOutcome::Rejected),
-                Some(Idempotency::AtMostOnce)
-            ),
-            ReopenDecision::StartNew
-        );
-    }
-
-    #[test]
-    fn a_free_key_starts_afresh_when_its_session_is_no_more() {
-        for past in [
-            RequestOutcome::Rejected,
-            RequestOutcome::Failed,
-            RequestOutcome::Played,
-        ] {
-            assert_eq!(
-                reopen(KeyState::Ended(past), Some(Idempotency::Idempotent)),
-                ReopenDecision::StartNew
-            );
-        }
-        assert_eq!(
-            reopen(KeyState::Waiting, Some(Idempotency::Idempotent)),
-            ReopenDecision::Join
-        );
-    }
-}
+mod tests;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -1,30 +1,31 @@
-//! A session front without I/O: what players and servers say goes in with the time, what is to be done comes out.
+//! A session front without I/O: inputs and the time go in, outputs that the driver carries out come back.
 //!
-//! [`Core`] owes each request exactly one answer before its viewer gives up. It hosts the decision module
-//! ([`crankpaddle::PlacementPolicy`]), which chooses servers and rungs; the core keeps what the module does not treat: give-up
-//! clocks, attempts and their time-outs, players that are lost and come back, keys that stand for one session, the
-//! front's own overload and its end. No protocol is known here: WebSocket, RTMP and the laboratory drive the same
-//! core.
+//! [`Core`] gives each request exactly one answer before its viewer gives up. It hosts the placement policy
+//! ([`crankpaddle::PlacementPolicy`]), which chooses servers and rungs; the core owns what the policy does not treat:
+//! answer deadlines, attempts and their time-outs, players that disconnect and reattach, idempotency keys, load shedding
+//! of the front itself and its shutdown. It knows no protocol: WebSocket, RTMP and the testbed drive the same core.
 //!
-//! Driving it, as one drives any state machine without I/O:
+//! To drive it, as any state machine without I/O:
 //!
-//! - call [`Core::handle`] for each [`Input`] and [`Core::expire`] when [`Core::next_expiry`] has come;
+//! - call [`Core::handle`] for each [`Input`], and [`Core::expire`] when [`Core::next_expiry`] has passed;
 //! - carry out the [`Output`]s that each call adds, in order;
-//! - time is [`Time`], nanoseconds of a clock that never goes back; the same inputs give the same effects.
+//! - time is [`Time`], nanoseconds of a monotonic clock; the same inputs give the same outputs.
 //!
-//! Where a decision stands: [`overload`] (when the front itself refuses), [`keys`] (what a known key means),
-//! [`core`](Core) (which outcome an event amounts to).
-#![allow(clippy::missing_errors_doc, clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
+//! Modules: [`core`](Core) decides which outcome an event amounts to, [`keys`] what a known key means, `overload` when
+//! the front itself sheds load, `recovery_queue` holds the requests that wait for reconciliation, `timers` the expiries.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 mod core;
+mod ids;
 mod input;
+mod jitter;
 pub mod keys;
-pub mod overload;
+mod output;
+mod overload;
 mod recovery_queue;
 mod timers;
 
-pub use crate::core::{jitter, Core, CoreConfig, EventObserver};
+pub use crate::core::{Core, CoreConfig, EventObserver, InvariantViolation};
 pub use crankpaddle::{
     AttemptOutcome, CrossZonePolicy, Endpoint, EndpointListKind, Event, Lifecycle, LoadReport,
     RequestId, ServerId, SessionUpdate, Settings, Time,
@@ -32,4 +33,9 @@
 pub use crankpaddle_recovery::{
     ConservativeBound, PreviousShutdown, RecoveryStage, StageEvidence, StagedRecovery,
 };
-pub use input::*;
+pub use ids::{AttemptId, Call, PlayerId};
+pub use input::{Input, OpenRequest, SetUpResult};
+pub use jitter::jitter;
+pub use output::{
+    Answer, FailureReason, Notification, Output, RejectReason, SessionEndReason, SetUpOrder,
+};
--- a/crates/front/src/recovery_queue.rs
+++ b/crates/front/src/recovery_queue.rs
@@ -1,49 +1,64 @@
-//! Requests that wait, before anything is decided on them, until it is known what a former life had begun.
-use crate::input::{Call, OpenRequest, PlayerId};
+//! The queue of requests that wait, undecided, until it is known which set-ups a previous incarnation had begun.
+use crate::ids::{Call, PlayerId};
+use crate::input::OpenRequest;
 use crankpaddle::Time;
 use std::collections::VecDeque;
 
-/// One of them.
+/// A player's request for a session with the call that it came by.
 #[derive(Clone, Debug)]
-pub(crate) struct Held {
+pub(crate) struct OpenCall {
     pub call: Call,
     pub open: OpenRequest,
-    pub received: Time,
+    /// When the message was read off the socket.
+    pub received_at: Time,
+}
+
+/// A queued request.
+#[derive(Clone, Debug)]
+pub(crate) struct QueuedOpen {
+    pub opening: OpenCall,
     /// When it must be answered.
     pub deadline: Time,
 }
 
-/// All of them, in the order in which they came.
+/// The queued requests in the order of their arrival.
 #[derive(Debug, Default)]
-pub(crate) struct Queue(VecDeque<Held>);
+pub(crate) struct RecoveryQueue(VecDeque<QueuedOpen>);
 
-impl Queue {
-    pub(crate) fn push(&mut self, held: Held) {
-        self.0.push_back(held);
+impl RecoveryQueue {
+    pub(crate) fn push(&mut self, queued: QueuedOpen) {
+        self.0.push_back(queued);
     }
 
     pub(crate) fn len(&self) -> usize {
         self.0.len()
     }
 
-    pub(crate) fn of(&self, player: PlayerId) -> usize {
-        self.0.iter().filter(|h| h.call.player == player).count()
+    /// Number of queued requests of one player.
+    pub(crate) fn count_of(&self, player: PlayerId) -> usize {
+        self.0
+            .iter()
+            .filter(|queued| queued.opening.call.player == player)
+            .count()
     }
 
-    pub(crate) fn take_all(&mut self) -> impl Iterator<Item = Held> {
-        std::mem::take(&mut self.0).into_iter()
+    /// Empties the queue.
+    pub(crate) fn take_all(&mut self) -> VecDeque<QueuedOpen> {
+        std::mem::take(&mut self.0)
     }
 
-    pub(crate) fn take_due(&mut self, now: Time) -> Vec<Held> {
-        let (due, rest) = std::mem::take(&mut self.0)
+    /// Removes and returns the requests that must be answered at `now`.
+    pub(crate) fn take_due(&mut self, now: Time) -> VecDeque<QueuedOpen> {
+        let (due, remaining) = self
+            .take_all()
             .into_iter()
-            .partition(|h| h.deadline <= now);
-        self.0 = rest;
-        Vec::from(due as VecDeque<Held>)
+            .partition(|queued| queued.deadline <= now);
+        self.0 = remaining;
+        due
     }
 
-    /// Its connection is gone, and no answer is owed on it.
-    pub(crate) fn drop_of(&mut self, player: PlayerId) {
-        self.0.retain(|h| h.call.player != player);
+    /// Removes a player's requests without an answer, since its connection is closed.
+    pub(crate) fn remove_player(&mut self, player: PlayerId) {
+        self.0.retain(|queued| queued.opening.call.player != player);
     }
 }
--- a/crates/front/src/timers.rs
+++ b/crates/front/src/timers.rs
@@ -1,41 +1,52 @@
-//! What falls due when. Timers are never withdrawn: who is called looks whether it still matters.
-use crate::input::AttemptId;
+//! The expiries of a core, ordered by time. Entries are never cancelled: the handler of an expired entry checks whether
+//! it still applies.
+use crate::ids::AttemptId;
 use crankpaddle::{RequestId, Time};
 use std::collections::BTreeSet;
 
+/// What happens when a timer expires. Entries of the same time expire in the order of the variants and their fields.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Due {
-    /// A timer of the decision module.
-    Wake(u32),
+pub(crate) enum TimerEntry {
+    /// A timer that the placement policy set, with its token.
+    PolicyTimer(u32),
     /// The time allowed for an attempt is over.
-    Attempt(AttemptId),
+    AttemptTimeout(AttemptId),
     /// The request must be answered now.
-    Answer(RequestId),
-    /// The player of this session has been away for too long; counts only if it has not been back since.
-    Away(RequestId, u32),
-    /// What a finished key stood for may be forgotten.
-    Forget(RequestId),
-    /// Who waits for service to return may have to be answered.
-    Held,
-    /// Returning service may take a step.
-    Stage,
+    AnswerDeadline(RequestId),
+    /// The player of this session has been disconnected for too long.
+    ResumeWindow {
+        request: RequestId,
+        /// The request's count of disconnects when the timer was set; the entry applies only if it is still the same.
+        disconnects: u32,
+    },
+    /// The retention of the ended request's key is over.
+    KeyRetention(RequestId),
+    /// A request in the recovery queue may have to be answered.
+    RecoveryQueue,
+    /// The staged recovery may reach its next stage.
+    RecoveryStage,
 }
 
+/// The pending timer entries.
 #[derive(Debug, Default)]
-pub(crate) struct Timers(BTreeSet<(Time, Due)>);
+pub(crate) struct Timers(BTreeSet<(Time, TimerEntry)>);
 
 impl Timers {
-    pub(crate) fn set(&mut self, at: Time, due: Due) {
-        self.0.insert((at, due));
+    pub(crate) fn set(&mut self, at: Time, entry: TimerEntry) {
+        self.0.insert((at, entry));
     }
 
-    pub(crate) fn next(&self) -> Option<Time> {
+    /// When the first entry expires.
+    pub(crate) fn next_expiry(&self) -> Option<Time> {
         self.0.first().map(|(at, _)| *at)
     }
 
-    /// The first that is due at `now`.
-    pub(crate) fn pop(&mut self, now: Time) -> Option<Due> {
-        self.next().filter(|at| *at <= now)?;
-        self.0.pop_first().map(|(_, due)| due)
+    /// Removes and returns the first entry that has expired at `now`.
+    pub(crate) fn pop_expired(&mut self, now: Time) -> Option<TimerEntry> {
+        let expires_at = self.next_expiry()?;
+        if expires_at > now {
+            return None;
+        }
+        self.0.pop_first().map(|(_, entry)| entry)
     }
 }
