--- a/crates/front/tests/drive.rs
+++ b/crates/front/tests/drive/main.rs
@@ -1,5 +1,6 @@
 //! Drives a core through random trouble and checks what it owes, and through each hard case by hand.
 #![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
+#[path = "../common/mod.rs"]
 mod common;
 use common::*;
 use crankpaddle_front::*;
