--- /dev/null
+++ b/crates/front/tests/drive/harness.rs
@@ -0,0 +1,163 @@
+//! A core with six servers, its clock, and what it puts out.
+use crate::common::{settings, MS, SECOND};
+use crankpaddle_front::*;
+
+/// How often the policy decides right after an input where its decisions are drawn.
+const DECISION_PROBABILITY: f32 = 0.3;
+
+pub(crate) struct Harness {
+    pub(crate) core: Core,
+    pub(crate) now: Time,
+    outputs: Vec<Output>,
+    calls: u64,
+    /// Draws whether the policy decides after an input; without it, it always does.
+    decision_draws: Option<oorandom::Rand32>,
+}
+
+impl Harness {
+    /// A core that knows its servers, and whose policy decides after each input.
+    pub(crate) fn new() -> Harness {
+        let now = Time(1000 * SECOND);
+        let mut harness = Harness {
+            core: Core::new(settings(), config(), 7, now),
+            now,
+            outputs: vec![],
+            calls: 0,
+            decision_draws: None,
+        };
+        harness.handle(Input::EndpointList(
+            EndpointListKind::Full,
+            (0..6).map(endpoint).collect(),
+        ));
+        harness
+    }
+
+    /// Lets the policy decide only after some inputs, drawn with `seed`.
+    pub(crate) fn decide_in_batches(&mut self, seed: u64) {
+        self.decision_draws = Some(oorandom::Rand32::new(seed));
+    }
+
+    /// Handles an input, and decides.
+    pub(crate) fn handle(&mut self, input: Input) -> Vec<Output> {
+        self.core.handle_input(self.now, input, &mut self.outputs);
+        let decides = self
+            .decision_draws
+            .as_mut()
+            .is_none_or(|draws| draws.rand_float() < DECISION_PROBABILITY);
+        if decides {
+            self.core.decide(self.now, &mut self.outputs);
+            self.core.check().unwrap();
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// Handles an input; what is put out before the policy decides.
+    pub(crate) fn handle_input(&mut self, input: Input) -> Vec<Output> {
+        self.core.handle_input(self.now, input, &mut self.outputs);
+        std::mem::take(&mut self.outputs)
+    }
+
+    pub(crate) fn decide(&mut self) -> Vec<Output> {
+        self.core.decide(self.now, &mut self.outputs);
+        self.core.check().unwrap();
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// A new call of a player.
+    pub(crate) fn call(&mut self, player: u64) -> Call {
+        self.calls += 1;
+        Call {
+            player: PlayerId(player),
+            number: self.calls,
+        }
+    }
+
+    pub(crate) fn open(&mut self, player: u64, key: &str, class: u8) -> (Call, Vec<Output>) {
+        let call = self.call(player);
+        let open = OpenRequest {
+            key: key.into(),
+            viewer: player,
+            class,
+            cell_count: 6,
+            max_rung: 2,
+            max_wait: 9 * SECOND,
+            ..OpenRequest::default()
+        };
+        let received = self.now;
+        let outputs = self.handle(Input::Open {
+            call,
+            open,
+            received,
+        });
+        (call, outputs)
+    }
+
+    /// The server answers that the session plays.
+    pub(crate) fn start(&mut self, attempt: AttemptId) -> Vec<Output> {
+        self.handle(Input::SetUpCompleted(attempt, SetUpResult::Started(vec![])))
+    }
+
+    /// The set-up ends without a session.
+    pub(crate) fn fail(&mut self, attempt: AttemptId, outcome: AttemptOutcome) -> Vec<Output> {
+        self.handle(Input::SetUpCompleted(
+            attempt,
+            SetUpResult::Ended(outcome, vec![]),
+        ))
+    }
+
+    /// Advances the clock by `time` nanoseconds, handling each timer when it expires.
+    pub(crate) fn advance(&mut self, time: u64) -> Vec<Output> {
+        let until = Time(self.now.0 + time);
+        while let Some(at) = self.core.next_expiry().filter(|at| *at <= until) {
+            self.now = self.now.max(at);
+            self.core.expire(self.now, &mut self.outputs);
+            self.core.check().unwrap();
+        }
+        self.now = until;
+        std::mem::take(&mut self.outputs)
+    }
+}
+
+/// The first attempt that is started.
+pub(crate) fn set_up(outputs: &[Output]) -> Option<(AttemptId, ServerId)> {
+    outputs.iter().find_map(|output| match output {
+        Output::StartSetUp {
+            attempt, server, ..
+        } => Some((*attempt, *server)),
+        _ => None,
+    })
+}
+
+/// The answers to calls.
+pub(crate) fn answers(outputs: &[Output]) -> Vec<(Call, Answer)> {
+    let answer_of = |output: &Output| match output {
+        Output::Answer(call, answer) => Some((*call, answer.clone())),
+        _ => None,
+    };
+    outputs.iter().filter_map(answer_of).collect()
+}
+
+fn config() -> CoreConfig {
+    CoreConfig {
+        max_wait: vec![5 * SECOND, 4 * SECOND],
+        answer_margin: 100 * MS,
+        resume_window: 3 * SECOND,
+        recovered_resume_window: 10 * SECOND,
+        max_pending: 1000,
+        max_pending_per_player: 50,
+        key_retention: 60 * SECOND,
+        max_retained_keys: 100,
+    }
+}
+
+fn endpoint(number: u32) -> Endpoint {
+    Endpoint {
+        server: ServerId(number),
+        zone: 0,
+        kind: 0,
+        cell: number as u16,
+        lifecycle: Lifecycle::Ready,
+        weight: 1.0,
+        started_at: Time(0),
+    }
+}
