Front tests: recovery, keys and overload tests in the field's terms

Cause: names and comments of the withdrawn house style. Change: names, comments and messages only, every assertion and number stands. Reworded messages: 'what never ran is set up' -> 'a key that never ran is set up'; 'a larger one is believed at once' -> 'a larger fleet counts at once'; 'no longer than players follow' -> 'no longer than the configured maximum'; 'refuses after two intervals ...' -> 'sheds load after two intervals ...'.

--- a/crates/front/src/keys/tests.rs
+++ b/crates/front/src/keys/tests.rs
@@ -3,20 +3,20 @@
 
 #[test]
 fn a_paid_key_never_leads_to_a_second_set_up_once_one_may_have_run() {
-    for standing in [
+    for state in [
         KeyState::Waiting,
         KeyState::Playing,
         KeyState::Ended(RequestOutcome::Failed),
         KeyState::Ended(RequestOutcome::Played),
     ] {
-        for effect in [None, Some(Idempotency::AtMostOnce)] {
-            let what = reopen(standing, effect);
+        for idempotency in [None, Some(Idempotency::AtMostOnce)] {
+            let decision = reopen(state, idempotency);
             assert!(
                 !matches!(
-                    what,
+                    decision,
                     ReopenDecision::StartNew | ReopenDecision::StartMigrated
                 ),
-                "{standing:?} {effect:?}: {what:?}"
+                "{state:?} {idempotency:?}: {decision:?}"
             );
         }
     }
@@ -30,14 +30,14 @@
 }
 
 #[test]
-fn a_free_key_starts_afresh_when_its_session_is_no_more() {
-    for past in [
+fn an_idempotent_key_starts_a_new_request_once_its_session_has_ended() {
+    for outcome in [
         RequestOutcome::Rejected,
         RequestOutcome::Failed,
         RequestOutcome::Played,
     ] {
         assert_eq!(
-            reopen(KeyState::Ended(past), Some(Idempotency::Idempotent)),
+            reopen(KeyState::Ended(outcome), Some(Idempotency::Idempotent)),
             ReopenDecision::StartNew
         );
     }
--- a/crates/front/src/overload/tests.rs
+++ b/crates/front/src/overload/tests.rs
@@ -1,8 +1,8 @@
-//! The front sheds load by its own queue.
+//! Load shedding by the wait and the number of pending requests.
 use super::*;
 const MS: u64 = 1_000_000;
 
-fn overload() -> OverloadDetector {
+fn detector() -> OverloadDetector {
     OverloadDetector::new(OverloadLimits {
         max_pending: 10,
         max_pending_per_player: 3,
@@ -11,56 +11,61 @@
     })
 }
 
-/// Feeds a message a millisecond with the given wait; says how many were taken.
-fn feed(o: &mut OverloadDetector, from: u64, count: u64, wait: u64) -> usize {
-    let verdict = |i: u64| {
-        o.admit(
-            Time(from + i * MS),
-            Time((from + i * MS).saturating_sub(wait)),
-            0,
-            0,
-        ) == AdmissionDecision::Admit
+/// Requests one admission a millisecond with the given wait; how many were admitted.
+fn count_admitted(detector: &mut OverloadDetector, from: u64, count: u64, wait: u64) -> usize {
+    let is_admitted = |index: &u64| {
+        let now = from + index * MS;
+        let received_at = Time(now.saturating_sub(wait));
+        detector.admit(Time(now), received_at, 0, 0) == AdmissionDecision::Admit
     };
-    (0..count).map(verdict).filter(|t| *t).count()
+    (0..count).filter(is_admitted).count()
 }
 
 #[test]
-fn a_burst_that_drains_is_taken_and_a_standing_queue_is_refused() {
-    let mut o = overload();
+fn a_burst_that_drains_is_admitted_and_a_standing_queue_is_shed() {
+    let mut detector = detector();
     assert_eq!(
-        feed(&mut o, SECOND, 80, 60 * MS),
+        count_admitted(&mut detector, SECOND, 80, 60 * MS),
         80,
         "a burst shorter than the interval"
     );
-    assert_eq!(feed(&mut o, SECOND + 80 * MS, 1, MS), 1);
-    let taken = feed(&mut o, 2 * SECOND, 1000, 60 * MS);
+    assert_eq!(count_admitted(&mut detector, SECOND + 80 * MS, 1, MS), 1);
+    let admitted = count_admitted(&mut detector, 2 * SECOND, 1000, 60 * MS);
     assert!(
-        (100..300).contains(&taken),
-        "refuses after two intervals of standing queue: {taken}"
+        (100..300).contains(&admitted),
+        "sheds load after two intervals of standing queue: {admitted}"
     );
     assert_eq!(
-        feed(&mut o, 3 * SECOND, 50, MS),
+        count_admitted(&mut detector, 3 * SECOND, 50, MS),
         50,
         "one quick passage ends it"
     );
 }
 
 #[test]
-fn counts_are_bounded_in_all_and_for_each_player() {
-    let mut o = overload();
-    let t = Time(SECOND);
-    assert_eq!(o.admit(t, t, 9, 2), AdmissionDecision::Admit);
-    assert_eq!(o.admit(t, t, 10, 0), AdmissionDecision::TooManyPending);
-    assert_eq!(o.admit(t, t, 0, 3), AdmissionDecision::TooManyPending);
+fn pending_requests_are_bounded_in_all_and_for_each_player() {
+    let mut detector = detector();
+    let now = Time(SECOND);
+    assert_eq!(detector.admit(now, now, 9, 2), AdmissionDecision::Admit);
+    assert_eq!(
+        detector.admit(now, now, 10, 0),
+        AdmissionDecision::TooManyPending
+    );
+    assert_eq!(
+        detector.admit(now, now, 0, 3),
+        AdmissionDecision::TooManyPending
+    );
 }
 
 #[test]
-fn advice_is_spread_grows_and_stays_under_what_players_follow() {
-    let mut o = overload();
-    let calm = o.retry_after(1.0);
-    assert!(o.retry_after(0.0) < calm);
-    feed(&mut o, SECOND, 2000, 60 * MS);
+fn retry_after_is_spread_and_grows_up_to_the_configured_maximum() {
+    let mut detector = detector();
+    let without_load = detector.retry_after(1.0);
+    assert!(detector.retry_after(0.0) < without_load);
+    count_admitted(&mut detector, SECOND, 2000, 60 * MS);
     assert!(
-        o.retry_after(1.0) > calm && o.retry_after(1.0) <= SECOND && o.retry_after(7.0) <= SECOND
+        detector.retry_after(1.0) > without_load
+            && detector.retry_after(1.0) <= SECOND
+            && detector.retry_after(7.0) <= SECOND
     );
 }
--- a/crates/front/tests/common/mod.rs
+++ b/crates/front/tests/common/mod.rs
@@ -1,5 +1,5 @@
-//! What the tests of the core stand on.
-use crankpaddle::{Class, Idempotency as Kind};
+//! Settings and units shared by the tests of the core.
+use crankpaddle::{Class, Idempotency};
 use crankpaddle_front::Settings;
 
 pub(crate) const MS: u64 = 1_000_000;
@@ -8,11 +8,11 @@
 pub(crate) const PAID: u8 = 1;
 
 pub(crate) fn settings() -> Settings {
-    let class = |effect, worth| Class {
+    let class = |idempotency, priority_weight| Class {
         latency_objective: 800 * MS,
-        idempotency: effect,
+        idempotency,
         retry_window: 0,
-        priority_weight: worth,
+        priority_weight,
         min_rung: 0,
         max_rung: 2,
         rate_factor: 1.0,
@@ -21,7 +21,10 @@
     };
     Settings {
         replica_count: 2,
-        classes: vec![class(Kind::Idempotent, 1.0), class(Kind::AtMostOnce, 2.0)],
+        classes: vec![
+            class(Idempotency::Idempotent, 1.0),
+            class(Idempotency::AtMostOnce, 2.0),
+        ],
         rung_kb: vec![200.0, 500.0, 1500.0],
         rung_utility: vec![0.2, 0.6, 1.0],
         cells: 6,
--- a/crates/front/tests/startup_recovery.rs
+++ b/crates/front/tests/startup_recovery.rs
@@ -1,20 +1,21 @@
-//! Service that returns after a power loss, at the core: who is held, who goes first, and what a key of a former life means.
+//! Staged recovery of a core after a power loss: which requests are queued, which classes are served first, and what a key of
+//! a previous incarnation means.
 mod common;
 use common::*;
 use crankpaddle_front::keys::RequestOutcome;
 use crankpaddle_front::*;
 
-struct Rig {
+struct Harness {
     core: Core,
     now: u64,
-    out: Vec<Output>,
+    outputs: Vec<Output>,
     calls: u64,
 }
 
-/// A core whose former life ended like this; servers are known once it is told so.
-fn rig(ended: PreviousShutdown, fleet: u32) -> Rig {
+/// A core whose previous incarnation ended like this, in a fleet of so many fronts; it knows no servers yet.
+fn harness(previous_shutdown: PreviousShutdown, previous_fronts: u32) -> Harness {
     let now = 1000 * SECOND;
-    let terms = CoreConfig {
+    let config = CoreConfig {
         max_wait: vec![5 * SECOND, 4 * SECOND],
         answer_margin: 100 * MS,
         resume_window: 3 * SECOND,
@@ -24,43 +25,43 @@
         key_retention: 60 * SECOND,
         max_retained_keys: 100,
     };
-    let steps = crankpaddle_recovery::StageTimeouts {
+    let timeouts = crankpaddle_recovery::StageTimeouts {
         reconciliation_timeout: 3 * SECOND,
         paid_quiet_period: SECOND,
         paid_only_timeout: 10 * SECOND,
         warm_up_duration: 10 * SECOND,
     };
-    let mut core = Core::new(settings(), terms, 7, Time(now));
-    let mut returning = StagedRecovery::new(steps, now);
-    returning.state_read(now, ended);
+    let mut core = Core::new(settings(), config, 7, Time(now));
+    let mut staged_recovery = StagedRecovery::new(timeouts, now);
+    staged_recovery.state_read(now, previous_shutdown);
     core.begin_recovery(
-        returning,
-        ended != PreviousShutdown::Unknown,
-        ConservativeBound::new(fleet),
+        staged_recovery,
+        previous_shutdown != PreviousShutdown::Unknown,
+        ConservativeBound::new(previous_fronts),
     );
-    Rig {
+    Harness {
         core,
         now,
-        out: vec![],
+        outputs: vec![],
         calls: 0,
     }
 }
 
-impl Rig {
-    fn tell(&mut self, input: Input) -> Vec<Output> {
-        self.core.handle(Time(self.now), input, &mut self.out);
+impl Harness {
+    fn handle(&mut self, input: Input) -> Vec<Output> {
+        self.core.handle(Time(self.now), input, &mut self.outputs);
         self.core.check().unwrap();
-        std::mem::take(&mut self.out)
+        std::mem::take(&mut self.outputs)
     }
 
-    fn pass(&mut self, time: u64) -> Vec<Output> {
+    fn advance(&mut self, time: u64) -> Vec<Output> {
         let until = self.now + time;
         let mut all = Vec::new();
-        while let Some(next) = self.core.next_expiry().filter(|t| t.0 <= until) {
+        while let Some(next) = self.core.next_expiry().filter(|at| at.0 <= until) {
             self.now = next.0.max(self.now);
-            self.core.expire(Time(self.now), &mut self.out);
+            self.core.expire(Time(self.now), &mut self.outputs);
             self.core.check().unwrap();
-            all.append(&mut self.out);
+            all.append(&mut self.outputs);
         }
         self.now = until;
         all
@@ -83,7 +84,7 @@
         let received = Time(self.now);
         (
             call,
-            self.tell(Input::Open {
+            self.handle(Input::Open {
                 call,
                 open,
                 received,
@@ -91,38 +92,38 @@
         )
     }
 
-    fn listed(&mut self) {
-        let listing = |n: u32| Endpoint {
-            server: ServerId(n),
-            cell: n as u16,
+    fn list_endpoints(&mut self) {
+        let endpoint = |number: u32| Endpoint {
+            server: ServerId(number),
+            cell: number as u16,
             lifecycle: Lifecycle::Ready,
             weight: 1.0,
             ..Endpoint::default()
         };
-        self.tell(Input::EndpointList(
+        self.handle(Input::EndpointList(
             EndpointListKind::Full,
-            (0..6).map(listing).collect(),
+            (0..6).map(endpoint).collect(),
         ));
     }
 
-    /// All servers told, and what was found is known.
-    fn settled(&mut self) -> Vec<Output> {
-        self.tell(Input::EndpointsKnown);
-        let mut all = self.tell(Input::ReconciliationCompleted);
+    /// All servers have reported their sessions, and what was found was handed in.
+    fn complete_reconciliation(&mut self) -> Vec<Output> {
+        self.handle(Input::EndpointsKnown);
+        let mut all = self.handle(Input::ReconciliationCompleted);
         assert!(
             all.iter()
-                .any(|e| matches!(e, Output::StageReached(RecoveryStage::PaidOnly, _))),
+                .any(|output| matches!(output, Output::StageReached(RecoveryStage::PaidOnly, _))),
             "{all:?}"
         );
-        self.listed();
-        all.extend(self.tell(Input::ServiceResumed));
+        self.list_endpoints();
+        all.extend(self.handle(Input::ServiceResumed));
         all
     }
 }
 
-fn answer(effects: &[Output], to: Call) -> Option<&Answer> {
-    effects.iter().find_map(|e| {
-        if let Output::Answer(call, answer) = e {
+fn answer(outputs: &[Output], to: Call) -> Option<&Answer> {
+    outputs.iter().find_map(|output| {
+        if let Output::Answer(call, answer) = output {
             (*call == to).then_some(answer)
         } else {
             None
@@ -130,149 +131,153 @@
     })
 }
 
-fn set_ups(effects: &[Output]) -> usize {
-    effects
+fn set_ups(outputs: &[Output]) -> usize {
+    outputs
         .iter()
-        .filter(|e| matches!(e, Output::StartSetUp { .. }))
+        .filter(|output| matches!(output, Output::StartSetUp { .. }))
         .count()
 }
 
 #[test]
-fn all_wait_while_what_was_begun_is_settled_and_paid_go_first() {
-    let mut rig = rig(PreviousShutdown::PowerLost, 0);
-    let (paid, effects) = rig.open("a", PAID);
-    assert!(effects.is_empty(), "{effects:?}");
-    let (free, _) = rig.open("b", FREE);
-    assert_eq!((rig.core.queued_for_recovery(), rig.core.waiting()), (2, 2));
-    rig.pass(500 * MS);
-    let effects = rig.settled();
-    assert_eq!(set_ups(&effects), 1, "the paid one");
-    assert!(answer(&effects, paid).is_none());
-    let Some(Answer::Rejected(RejectReason::Recovering, advice)) = answer(&effects, free) else {
-        panic!("{effects:?}")
+fn all_requests_are_queued_during_reconciliation_and_paid_ones_are_served_first() {
+    let mut harness = harness(PreviousShutdown::PowerLost, 0);
+    let (paid, outputs) = harness.open("a", PAID);
+    assert!(outputs.is_empty(), "{outputs:?}");
+    let (free, _) = harness.open("b", FREE);
+    assert_eq!(
+        (harness.core.queued_for_recovery(), harness.core.waiting()),
+        (2, 2)
+    );
+    harness.advance(500 * MS);
+    let outputs = harness.complete_reconciliation();
+    assert_eq!(set_ups(&outputs), 1, "the paid one");
+    assert!(answer(&outputs, paid).is_none());
+    let Some(Answer::Rejected(RejectReason::Recovering, retry_after)) = answer(&outputs, free)
+    else {
+        panic!("{outputs:?}")
     };
     assert!(
-        *advice > 0 && *advice <= SECOND,
-        "no longer than players follow"
+        *retry_after > 0 && *retry_after <= SECOND,
+        "no longer than the configured maximum"
     );
-    // A second without one turned away: all are served.
-    rig.pass(SECOND);
-    assert_eq!(rig.core.stage(), RecoveryStage::AllClasses);
-    assert_eq!(set_ups(&rig.open("c", FREE).1), 1);
+    // A second without a rejected paid request: all classes are served.
+    harness.advance(SECOND);
+    assert_eq!(harness.core.stage(), RecoveryStage::AllClasses);
+    assert_eq!(set_ups(&harness.open("c", FREE).1), 1);
 }
 
 #[test]
-fn who_was_held_is_not_taken_for_a_queue_that_stands() {
-    let mut rig = rig(PreviousShutdown::Killed, 0);
+fn requests_queued_for_recovery_do_not_count_as_overload() {
+    let mut harness = harness(PreviousShutdown::Killed, 0);
     for n in 0..10 {
-        rig.open(&format!("k{n}"), PAID);
+        harness.open(&format!("k{n}"), PAID);
     }
-    rig.pass(2 * SECOND);
-    assert_eq!(set_ups(&rig.settled()), 10);
+    harness.advance(2 * SECOND);
+    assert_eq!(set_ups(&harness.complete_reconciliation()), 10);
 }
 
 #[test]
-fn each_who_waits_is_answered_before_it_gives_up_whatever_is_silent() {
-    let mut rig = rig(PreviousShutdown::PowerLost, 0);
-    rig.tell(Input::KeyUnresolved {
+fn each_queued_request_is_answered_before_its_viewer_gives_up_though_no_server_reports() {
+    let mut harness = harness(PreviousShutdown::PowerLost, 0);
+    harness.handle(Input::KeyUnresolved {
         tenant: 0,
         key: "begun".into(),
     });
-    let (new, _) = rig.open("new", PAID);
-    let (begun, _) = rig.open("begun", PAID);
-    let (free, _) = rig.open("free", FREE);
-    let effects = rig.pass(3900 * MS - 1);
-    assert!(effects.is_empty(), "{effects:?}");
-    let effects = rig.pass(2 * SECOND);
+    let (new, _) = harness.open("new", PAID);
+    let (begun, _) = harness.open("begun", PAID);
+    let (free, _) = harness.open("free", FREE);
+    let outputs = harness.advance(3900 * MS - 1);
+    assert!(outputs.is_empty(), "{outputs:?}");
+    let outputs = harness.advance(2 * SECOND);
     assert!(matches!(
-        answer(&effects, new),
+        answer(&outputs, new),
         Some(Answer::Rejected(RejectReason::Recovering, _))
     ));
-    // Danger: a refusal says that nothing ran.
+    // Why it fails: a rejection states that nothing ran.
     assert_eq!(
-        answer(&effects, begun),
+        answer(&outputs, begun),
         Some(&Answer::Failed(FailureReason::NoAnswer))
     );
-    assert!(matches!(answer(&effects, free), Some(Answer::Rejected(..))));
-    assert_eq!(rig.core.queued_for_recovery(), 0);
-    // Nobody is known who could tell: who comes later is told at once to come back.
-    let (late, effects) = rig.open("late", FREE);
+    assert!(matches!(answer(&outputs, free), Some(Answer::Rejected(..))));
+    assert_eq!(harness.core.queued_for_recovery(), 0);
+    // No server is known that could report: later requests are rejected at once with a Retry-After.
+    let (late, outputs) = harness.open("late", FREE);
     assert!(matches!(
-        answer(&effects, late),
+        answer(&outputs, late),
         Some(Answer::Rejected(RejectReason::Recovering, _))
     ));
 }
 
 #[test]
-fn where_the_disk_was_lost_no_paid_request_is_told_that_nothing_ran() {
-    let mut rig = rig(PreviousShutdown::Unknown, 0);
-    let (paid, _) = rig.open("a", PAID);
-    let effects = rig.pass(5 * SECOND);
+fn where_the_disk_was_lost_no_paid_request_is_rejected_as_if_nothing_ran() {
+    let mut harness = harness(PreviousShutdown::Unknown, 0);
+    let (paid, _) = harness.open("a", PAID);
+    let outputs = harness.advance(5 * SECOND);
     assert_eq!(
-        answer(&effects, paid),
+        answer(&outputs, paid),
         Some(&Answer::Failed(FailureReason::NoAnswer))
     );
 }
 
 #[test]
-fn keys_of_former_lives_mean_what_servers_said_of_them() {
-    let mut rig = rig(PreviousShutdown::PowerLost, 0);
+fn keys_of_previous_incarnations_have_the_outcome_that_servers_reported() {
+    let mut harness = harness(PreviousShutdown::PowerLost, 0);
     for key in ["spent", "failed", "never"] {
-        rig.tell(Input::KeyUnresolved {
+        harness.handle(Input::KeyUnresolved {
             tenant: 0,
             key: key.into(),
         });
     }
     let calls: Vec<Call> = ["spent", "failed", "never"]
-        .map(|key| rig.open(key, PAID).0)
+        .map(|key| harness.open(key, PAID).0)
         .into();
-    let said = [
+    let resolutions = [
         ("spent", Some(RequestOutcome::Played)),
         ("failed", Some(RequestOutcome::Failed)),
         ("never", None),
     ];
-    for (key, past) in said {
-        rig.tell(Input::KeyResolved {
+    for (key, outcome) in resolutions {
+        harness.handle(Input::KeyResolved {
             tenant: 0,
             key: key.into(),
             class: PAID,
-            past,
+            past: outcome,
         });
     }
-    let effects = rig.settled();
+    let outputs = harness.complete_reconciliation();
     assert_eq!(
-        answer(&effects, calls[0]),
+        answer(&outputs, calls[0]),
         Some(&Answer::Failed(FailureReason::KeySpent))
     );
     assert_eq!(
-        answer(&effects, calls[1]),
+        answer(&outputs, calls[1]),
         Some(&Answer::Failed(FailureReason::NoAnswer))
     );
-    assert_eq!(set_ups(&effects), 1, "what never ran is set up");
+    assert_eq!(set_ups(&outputs), 1, "a key that never ran is set up");
 }
 
 #[test]
-fn a_class_that_is_configured_no_more_counts_as_paid() {
-    let mut rig = rig(PreviousShutdown::PowerLost, 0);
-    rig.tell(Input::KeyResolved {
+fn a_class_that_is_no_longer_configured_counts_as_paid() {
+    let mut harness = harness(PreviousShutdown::PowerLost, 0);
+    harness.handle(Input::KeyResolved {
         tenant: 0,
         key: "k".into(),
         class: u8::MAX,
         past: Some(RequestOutcome::Played),
     });
-    rig.settled();
-    let (call, effects) = rig.open("k", PAID);
+    harness.complete_reconciliation();
+    let (call, outputs) = harness.open("k", PAID);
     assert_eq!(
-        answer(&effects, call),
+        answer(&outputs, call),
         Some(&Answer::Failed(FailureReason::KeySpent))
     );
 }
 
 #[test]
-fn a_session_that_a_server_kept_is_there_for_its_viewer_and_ends_without_him() {
-    for comes in [true, false] {
-        let mut rig = rig(PreviousShutdown::PowerLost, 0);
-        rig.settled();
+fn a_session_found_at_a_server_waits_for_its_viewer_and_is_torn_down_without_him() {
+    for reattaches in [true, false] {
+        let mut harness = harness(PreviousShutdown::PowerLost, 0);
+        harness.complete_reconciliation();
         let open = OpenRequest {
             key: "kept".into(),
             class: PAID,
@@ -280,7 +285,7 @@
             max_rung: 1,
             ..OpenRequest::default()
         };
-        let effects = rig.tell(Input::SessionFound {
+        let outputs = harness.handle(Input::SessionFound {
             token: 5,
             open: open.clone(),
             server: ServerId(2),
@@ -289,12 +294,12 @@
             token: 5,
             attempt: Some(attempt),
             server: ServerId(2),
-        }] = effects[..]
+        }] = outputs[..]
         else {
-            panic!("{effects:?}")
+            panic!("{outputs:?}")
         };
-        assert_eq!(rig.core.playing(), 1);
-        let again = rig.tell(Input::SessionFound {
+        assert_eq!(harness.core.playing(), 1);
+        let again = harness.handle(Input::SessionFound {
             token: 6,
             open,
             server: ServerId(3),
@@ -306,99 +311,110 @@
             ),
             "one session a key: {again:?}"
         );
-        rig.pass(9 * SECOND);
-        if comes {
-            let (call, effects) = rig.open("kept", PAID);
+        harness.advance(9 * SECOND);
+        if reattaches {
+            let (call, outputs) = harness.open("kept", PAID);
             assert!(
-                matches!(answer(&effects, call), Some(Answer::Established { attempt: a, .. }) if *a == attempt),
-                "{effects:?}"
+                matches!(answer(&outputs, call), Some(Answer::Established { attempt: a, .. }) if *a == attempt),
+                "{outputs:?}"
             );
-            assert_eq!(set_ups(&effects), 0);
+            assert_eq!(set_ups(&outputs), 0);
         }
-        let effects = rig.pass(5 * SECOND);
-        let ended = effects.contains(&Output::TearDown(attempt, ServerId(2)));
-        assert_eq!((ended, rig.core.playing()), (!comes, usize::from(comes)));
+        let outputs = harness.advance(5 * SECOND);
+        let ended = outputs.contains(&Output::TearDown(attempt, ServerId(2)));
+        assert_eq!(
+            (ended, harness.core.playing()),
+            (!reattaches, usize::from(reattaches))
+        );
     }
 }
 
 #[test]
-fn a_smaller_fleet_is_not_believed_until_servers_had_time_to_warm() {
-    let mut rig = rig(PreviousShutdown::PowerLost, 40);
-    assert_eq!(rig.core.replica_count(), 40);
-    rig.tell(Input::FleetSizeChanged(11));
-    rig.settled();
-    rig.pass(5 * SECOND);
+fn a_smaller_fleet_does_not_count_until_servers_had_time_to_warm_up() {
+    let mut harness = harness(PreviousShutdown::PowerLost, 40);
+    assert_eq!(harness.core.replica_count(), 40);
+    harness.handle(Input::FleetSizeChanged(11));
+    harness.complete_reconciliation();
+    harness.advance(5 * SECOND);
     assert_eq!(
-        (rig.core.stage(), rig.core.replica_count()),
+        (harness.core.stage(), harness.core.replica_count()),
         (RecoveryStage::AllClasses, 40)
     );
-    rig.tell(Input::FleetSizeChanged(50));
+    harness.handle(Input::FleetSizeChanged(50));
     assert_eq!(
-        rig.core.replica_count(),
+        harness.core.replica_count(),
         50,
-        "a larger one is believed at once"
+        "a larger fleet counts at once"
     );
-    rig.tell(Input::FleetSizeChanged(11));
-    rig.pass(20 * SECOND);
+    harness.handle(Input::FleetSizeChanged(11));
+    harness.advance(20 * SECOND);
     assert_eq!(
-        (rig.core.stage(), rig.core.replica_count()),
+        (harness.core.stage(), harness.core.replica_count()),
         (RecoveryStage::Normal, 11)
     );
 }
 
 #[test]
-fn after_an_end_in_order_nothing_waits() {
-    let mut rig = rig(PreviousShutdown::Clean, 40);
-    rig.listed();
+fn after_a_clean_shutdown_nothing_is_queued() {
+    let mut harness = harness(PreviousShutdown::Clean, 40);
+    harness.list_endpoints();
     assert_eq!(
-        (rig.core.stage(), rig.core.replica_count()),
+        (harness.core.stage(), harness.core.replica_count()),
         (RecoveryStage::Normal, 2)
     );
-    assert_eq!(set_ups(&rig.open("a", FREE).1), 1);
+    assert_eq!(set_ups(&harness.open("a", FREE).1), 1);
 }
 
 #[test]
-fn who_waits_is_bounded_and_who_leaves_is_owed_nothing() {
-    let mut rig = rig(PreviousShutdown::PowerLost, 0);
-    let calls: Vec<(Call, Vec<Output>)> =
-        (0..25).map(|n| rig.open(&format!("k{n}"), PAID)).collect();
-    let refused = calls.iter().filter(|(call, e)| {
+fn the_recovery_queue_is_bounded_and_players_that_leave_get_no_answer() {
+    let mut harness = harness(PreviousShutdown::PowerLost, 0);
+    let calls: Vec<(Call, Vec<Output>)> = (0..25)
+        .map(|n| harness.open(&format!("k{n}"), PAID))
+        .collect();
+    let rejected = calls.iter().filter(|(call, outputs)| {
         matches!(
-            answer(e, *call),
+            answer(outputs, *call),
             Some(Answer::Rejected(RejectReason::TooManyPending, _))
         )
     });
-    assert_eq!((refused.count(), rig.core.queued_for_recovery()), (5, 20));
-    rig.tell(Input::PlayerDisconnected(calls[0].0.player));
-    rig.tell(Input::Leave(calls[1].0.player));
-    assert_eq!(rig.core.queued_for_recovery(), 18);
-    let effects = rig.tell(Input::Stop);
-    assert!(answer(&effects, calls[0].0).is_none() && answer(&effects, calls[2].0).is_some());
+    assert_eq!(
+        (rejected.count(), harness.core.queued_for_recovery()),
+        (5, 20)
+    );
+    harness.handle(Input::PlayerDisconnected(calls[0].0.player));
+    harness.handle(Input::Leave(calls[1].0.player));
+    assert_eq!(harness.core.queued_for_recovery(), 18);
+    let outputs = harness.handle(Input::Stop);
+    assert!(answer(&outputs, calls[0].0).is_none() && answer(&outputs, calls[2].0).is_some());
 }
 
 #[test]
-fn what_a_slow_disk_held_back_has_not_left_and_is_no_failure() {
-    for kept_back in [true, false] {
-        let mut rig = rig(PreviousShutdown::Clean, 0);
-        rig.listed();
-        let (call, effects) = rig.open("a", PAID);
-        let sent = |e: &Output| {
-            if let Output::StartSetUp { attempt, .. } = e {
+fn an_attempt_deferred_by_a_slow_disk_was_not_sent_and_is_no_failure() {
+    for is_deferred in [true, false] {
+        let mut harness = harness(PreviousShutdown::Clean, 0);
+        harness.list_endpoints();
+        let (call, outputs) = harness.open("a", PAID);
+        let started = |output: &Output| {
+            if let Output::StartSetUp { attempt, .. } = output {
                 Some(*attempt)
             } else {
                 None
             }
         };
-        let mut attempt = effects.iter().find_map(sent).unwrap();
-        let mut said = Vec::new();
-        while rig.core.waiting() > 0 {
-            rig.tell(Input::SendDeferred(attempt, kept_back));
-            let effects = rig.pass(100 * MS);
-            attempt = effects.iter().find_map(sent).unwrap_or(attempt);
-            said.extend(effects);
+        let mut attempt = outputs.iter().find_map(started).unwrap();
+        let mut outputs_since = Vec::new();
+        while harness.core.waiting() > 0 {
+            harness.handle(Input::SendDeferred(attempt, is_deferred));
+            let outputs = harness.advance(100 * MS);
+            attempt = outputs.iter().find_map(started).unwrap_or(attempt);
+            outputs_since.extend(outputs);
         }
-        let refused = matches!(answer(&said, call), Some(Answer::Rejected(..)));
-        let failed = matches!(answer(&said, call), Some(Answer::Failed(..)));
-        assert_eq!((refused, failed), (kept_back, !kept_back), "{said:?}");
+        let is_rejected = matches!(answer(&outputs_since, call), Some(Answer::Rejected(..)));
+        let has_failed = matches!(answer(&outputs_since, call), Some(Answer::Failed(..)));
+        assert_eq!(
+            (is_rejected, has_failed),
+            (is_deferred, !is_deferred),
+            "{outputs_since:?}"
+        );
     }
 }
