--- a/crates/front/src/core/attempts.rs
+++ b/crates/front/src/core/attempts.rs
@@ -8,6 +8,7 @@
 use crankpaddle::{AttemptOutcome, Event, LoadField, LoadReport, RequestId, SessionUpdate};
 
 impl Core {
+    /// A server answered a set-up, or its attempt ended without an answer.
     pub(super) fn set_up_completed(
         &mut self,
         attempt: AttemptId,
@@ -20,6 +21,7 @@
         }
     }
 
+    /// Establishes a session whose server answered that it plays.
     fn set_up_started(&mut self, attempt: AttemptId, report: LoadReport, out: &mut Vec<Output>) {
         let now = self.now;
         let Some((id, request)) = self.request_of(attempt) else {
@@ -111,7 +113,7 @@
         if end.was_cut() {
             self.end_playing(id, end, RequestOutcome::Failed);
         } else {
-            self.session_ended(attempt, end.outcome, end.report, out);
+            self.end_session(attempt, end.outcome, end.report, out);
         }
     }
 
@@ -125,6 +127,7 @@
         }
     }
 
+    /// Abandons an attempt that was not answered within its time.
     pub(super) fn attempt_timed_out(&mut self, attempt: AttemptId, out: &mut Vec<Output>) {
         let Some((id, request)) = self.request_of(attempt) else {
             return;
--- a/crates/front/src/core/dispatch.rs
+++ b/crates/front/src/core/dispatch.rs
@@ -18,6 +18,7 @@
         self.dispatch(input, out);
     }
 
+    /// Hands the input to its handler.
     fn dispatch(&mut self, input: Input, out: &mut Vec<Output>) {
         match input {
             Input::Open {
@@ -38,9 +39,7 @@
             Input::SetUpCompleted(id, result) => self.set_up_completed(id, result, out),
             Input::SendDeferred(id, is_deferred) => self.send_deferred(id, is_deferred),
             Input::SessionUpdated(id, update) => self.session_updated(id, update),
-            Input::SessionEnded(id, outcome, report) => {
-                self.session_ended(id, outcome, report, out);
-            }
+            Input::SessionEnded(id, outcome, report) => self.end_session(id, outcome, report, out),
             Input::CrossZonePolicyChanged {
                 zone,
                 class,
--- a/crates/front/src/core/open.rs
+++ b/crates/front/src/core/open.rs
@@ -27,6 +27,7 @@
 }
 
 impl Core {
+    /// Opens a session for a request that was just read.
     pub(super) fn open_received(
         &mut self,
         call: Call,
--- a/crates/front/src/core/requests.rs
+++ b/crates/front/src/core/requests.rs
@@ -14,6 +14,7 @@
 }
 
 impl Core {
+    /// Reattaches a player to the request that its key names.
     pub(super) fn resume(&mut self, call: Call, tenant: u16, key: String, out: &mut Vec<Output>) {
         let id = self.keys.get(&SessionKey { tenant, key }).copied();
         let request = id.and_then(|id| self.requests.get(&id));
@@ -61,6 +62,7 @@
         self.attach(id, call.player);
     }
 
+    /// Ends a session for its player.
     pub(super) fn close(&mut self, call: Call, session: RequestId, out: &mut Vec<Output>) {
         let is_own = self
             .requests
--- a/crates/front/src/core/sessions.rs
+++ b/crates/front/src/core/sessions.rs
@@ -11,6 +11,7 @@
 const MAX_EARLY_UPDATES: usize = 8;
 
 impl Core {
+    /// Passes a server's update of a session on to the policy.
     pub(super) fn session_updated(&mut self, attempt: AttemptId, update: SessionUpdate) {
         let Some((id, request)) = self.request_of(attempt) else {
             return;
@@ -37,8 +38,8 @@
         }
     }
 
-    /// A server reports the end of a session, or was lost with it.
-    pub(super) fn session_ended(
+    /// Ends a session whose end its server reported, or whose server was lost.
+    pub(super) fn end_session(
         &mut self,
         attempt: AttemptId,
         outcome: AttemptOutcome,
--- a/crates/front/src/core/set_up.rs
+++ b/crates/front/src/core/set_up.rs
@@ -7,7 +7,7 @@
 use crankpaddle::{AttemptOutcome, Event, LoadReport, RequestId, ServerId, Time};
 
 impl Core {
-    /// Whether an outstanding attempt that was not sent yet may still be sent: to be asked right before, since its
+    /// Whether an outstanding attempt that was not sent yet may still be sent: to be called right before, since its
     /// connection may have taken long to be established. Call it after [`Core::decide`], so that all inputs count.
     #[must_use]
     pub fn may_send(&self, now: Time, attempt: AttemptId) -> bool {
--- a/crates/front/src/keys.rs
+++ b/crates/front/src/keys.rs
@@ -15,7 +15,7 @@
     Failed,
     /// It was established and has ended.
     Played,
-    /// The front took it off its server and asked its viewer to open it again.
+    /// The front ended it at its server and notified its viewer to open it again.
     Migrated,
 }
 
--- a/crates/front/tests/drive/random_run.rs
+++ b/crates/front/tests/drive/random_run.rs
@@ -203,7 +203,7 @@
         let PendingCall { key, opened_at } = self
             .pending_calls
             .remove(&call)
-            .unwrap_or_else(|| panic!("seed {seed}: not owed {call:?}"));
+            .unwrap_or_else(|| panic!("seed {seed}: no answer pending for {call:?}"));
         assert!(
             self.harness.now.0 - opened_at.0 <= 5 * SECOND,
             "seed {seed}: late"
@@ -216,7 +216,7 @@
             .any(|request| self.keys.get(request) == Some(&key));
         assert!(
             !is_rejected || !may_have_run,
-            "seed {seed}: refused though it may have run: {key}"
+            "seed {seed}: rejected though it may have run: {key}"
         );
     }
 
--- a/crates/front/tests/drive/set_ups.rs
+++ b/crates/front/tests/drive/set_ups.rs
@@ -20,7 +20,7 @@
         late.contains(&Output::AbandonAttempt(attempt, server)),
         "the server must drop what it may have set up"
     );
-    // What comes after changes nothing, and the key does not buy again.
+    // A late answer changes nothing, and the key does not set up again.
     assert!(harness.start(attempt).is_empty());
     let (again, outputs) = harness.open(1, "a", PAID);
     assert_eq!(
--- a/crates/front/tests/startup_recovery.rs
+++ b/crates/front/tests/startup_recovery.rs
@@ -121,6 +121,21 @@
     }
 }
 
+fn session_found(key: &str, token: u64, server: ServerId) -> Input {
+    let open = OpenRequest {
+        key: key.into(),
+        class: PAID,
+        cell_count: 3,
+        max_rung: 1,
+        ..OpenRequest::default()
+    };
+    Input::SessionFound {
+        token,
+        open,
+        server,
+    }
+}
+
 fn answer(outputs: &[Output], to: Call) -> Option<&Answer> {
     outputs.iter().find_map(|output| {
         if let Output::Answer(call, answer) = output {
@@ -278,18 +293,7 @@
     for reattaches in [true, false] {
         let mut harness = harness(PreviousShutdown::PowerLost, 0);
         harness.complete_reconciliation();
-        let open = OpenRequest {
-            key: "kept".into(),
-            class: PAID,
-            cell_count: 3,
-            max_rung: 1,
-            ..OpenRequest::default()
-        };
-        let outputs = harness.handle(Input::SessionFound {
-            token: 5,
-            open: open.clone(),
-            server: ServerId(2),
-        });
+        let outputs = harness.handle(session_found("kept", 5, ServerId(2)));
         let [Output::FoundSessionHandled {
             token: 5,
             attempt: Some(attempt),
@@ -299,11 +303,7 @@
             panic!("{outputs:?}")
         };
         assert_eq!(harness.core.playing(), 1);
-        let again = harness.handle(Input::SessionFound {
-            token: 6,
-            open,
-            server: ServerId(3),
-        });
+        let again = harness.handle(session_found("kept", 6, ServerId(3)));
         assert!(
             matches!(
                 again[..],
