--- a/crates/front/src/core/attempts.rs
+++ b/crates/front/src/core/attempts.rs
@@ -30,7 +30,7 @@
         let Some(outstanding) = request.waiting_attempt() else {
             return;
         };
-        if now >= request.gives_up_at {
+        if now >= request.viewer_deadline {
             // Handled too late, perhaps because this process was stalled: the viewer has given up.
             out.push(Output::AbandonAttempt(attempt, outstanding.server));
             return self.attempt_failed(attempt, AttemptOutcome::Timeout, report);
--- a/crates/front/src/core/key_retention.rs
+++ b/crates/front/src/core/key_retention.rs
@@ -21,7 +21,7 @@
         }
         let retained_until = Time(
             request
-                .gives_up_at
+                .viewer_deadline
                 .0
                 .saturating_add(self.config.key_retention),
         );
--- a/crates/front/src/core/open.rs
+++ b/crates/front/src/core/open.rs
@@ -15,7 +15,7 @@
 /// How long the answer to a request may take.
 pub(super) struct AnswerLimits {
     /// When the viewer gives up.
-    pub(super) gives_up_at: Time,
+    pub(super) viewer_deadline: Time,
     /// When the request must be answered.
     pub(super) deadline: Time,
 }
@@ -142,7 +142,12 @@
             ..open.session_request(id, limits.deadline)
         };
         self.keys.insert(SessionKey::from(&open), id);
-        let request = Request::new(session.clone(), open.key, Some(call), limits.gives_up_at);
+        let request = Request::new(
+            session.clone(),
+            open.key,
+            Some(call),
+            limits.viewer_deadline,
+        );
         self.requests.insert(id, request);
         self.waiting += 1;
         self.attach(id, call.player);
@@ -162,10 +167,10 @@
             .unwrap_or(0);
         let wait = open.max_wait.min(class_max_wait);
         let margin = self.config.answer_margin.min(wait / 2);
-        let gives_up_at = Time(received_at.0.saturating_add(wait));
+        let viewer_deadline = Time(received_at.0.saturating_add(wait));
         AnswerLimits {
-            gives_up_at,
-            deadline: Time(gives_up_at.0 - margin),
+            viewer_deadline,
+            deadline: Time(viewer_deadline.0 - margin),
         }
     }
 }
--- a/crates/front/src/core/request.rs
+++ b/crates/front/src/core/request.rs
@@ -81,7 +81,7 @@
     /// The session's updates, received before the answer to its set-up.
     pub(super) early_updates: Vec<SessionUpdate>,
     /// When its viewer gives up.
-    pub(super) gives_up_at: Time,
+    pub(super) viewer_deadline: Time,
 }
 
 impl Request {
@@ -90,7 +90,7 @@
         session: SessionRequest,
         key: String,
         call: Option<Call>,
-        gives_up_at: Time,
+        viewer_deadline: Time,
     ) -> Request {
         Request {
             session,
@@ -105,7 +105,7 @@
             attempt_count: 0,
             early_end: None,
             early_updates: Vec::new(),
-            gives_up_at,
+            viewer_deadline,
         }
     }
 
--- a/crates/front/src/core/requests.rs
+++ b/crates/front/src/core/requests.rs
@@ -120,9 +120,9 @@
             started_at: self.now,
             is_deferred: false,
         };
-        let gives_up_at = Time(self.now.0.saturating_add(open.max_wait));
-        let session = open.session_request(id, gives_up_at);
-        let mut request = Request::new(session.clone(), open.key, None, gives_up_at);
+        let viewer_deadline = Time(self.now.0.saturating_add(open.max_wait));
+        let session = open.session_request(id, viewer_deadline);
+        let mut request = Request::new(session.clone(), open.key, None, viewer_deadline);
         request.phase = RequestPhase::Playing(attempt);
         request.rung = self.min_rung(session.class);
         request.attempt_count = 1;
--- a/crates/front/src/core/set_up.rs
+++ b/crates/front/src/core/set_up.rs
@@ -20,7 +20,7 @@
         let is_outstanding = request
             .waiting_attempt()
             .is_some_and(|outstanding| outstanding.id == attempt);
-        is_outstanding && now < request.gives_up_at && self.policy.may_send(now, *id)
+        is_outstanding && now < request.viewer_deadline && self.policy.may_send(now, *id)
     }
 
     /// Starts an attempt; `timeout` in nanoseconds, 0: until the request must be answered.
