--- /dev/null
+++ b/crates/front/tests/startup_recovery.rs
@@ -0,0 +1,420 @@
+//! Staged recovery of a core after a power loss: which requests are queued, which classes are served first, and what a key of
+//! a previous incarnation means.
+mod common;
+use common::*;
+use crankpaddle_front::keys::RequestOutcome;
+use crankpaddle_front::*;
+
+struct Harness {
+    core: Core,
+    now: u64,
+    outputs: Vec<Output>,
+    calls: u64,
+}
+
+/// A core whose previous incarnation ended like this, in a fleet of so many fronts; it knows no servers yet.
+fn harness(previous_shutdown: PreviousShutdown, previous_fronts: u32) -> Harness {
+    let now = 1000 * SECOND;
+    let config = CoreConfig {
+        max_wait: vec![5 * SECOND, 4 * SECOND],
+        answer_margin: 100 * MS,
+        resume_window: 3 * SECOND,
+        recovered_resume_window: 10 * SECOND,
+        max_pending: 20,
+        max_pending_per_player: 5,
+        key_retention: 60 * SECOND,
+        max_retained_keys: 100,
+    };
+    let timeouts = crankpaddle_recovery::StageTimeouts {
+        reconciliation_timeout: 3 * SECOND,
+        paid_quiet_period: SECOND,
+        paid_only_timeout: 10 * SECOND,
+        warm_up_duration: 10 * SECOND,
+    };
+    let mut core = Core::new(settings(), config, 7, Time(now));
+    let mut staged_recovery = StagedRecovery::new(timeouts, now);
+    staged_recovery.state_read(now, previous_shutdown);
+    core.begin_recovery(
+        staged_recovery,
+        previous_shutdown != PreviousShutdown::Unknown,
+        ConservativeBound::new(previous_fronts),
+    );
+    Harness {
+        core,
+        now,
+        outputs: vec![],
+        calls: 0,
+    }
+}
+
+impl Harness {
+    fn handle(&mut self, input: Input) -> Vec<Output> {
+        self.core.handle(Time(self.now), input, &mut self.outputs);
+        self.core.check().unwrap();
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn advance(&mut self, time: u64) -> Vec<Output> {
+        let until = self.now + time;
+        let mut all = Vec::new();
+        while let Some(next) = self.core.next_expiry().filter(|at| at.0 <= until) {
+            self.now = next.0.max(self.now);
+            self.core.expire(Time(self.now), &mut self.outputs);
+            self.core.check().unwrap();
+            all.append(&mut self.outputs);
+        }
+        self.now = until;
+        all
+    }
+
+    fn open(&mut self, key: &str, class: u8) -> (Call, Vec<Output>) {
+        self.calls += 1;
+        let call = Call {
+            player: PlayerId(self.calls),
+            number: 1,
+        };
+        let open = OpenRequest {
+            key: key.into(),
+            class,
+            cell_count: 3,
+            max_rung: 1,
+            max_wait: u64::MAX,
+            ..OpenRequest::default()
+        };
+        let received = Time(self.now);
+        (
+            call,
+            self.handle(Input::Open {
+                call,
+                open,
+                received,
+            }),
+        )
+    }
+
+    fn list_endpoints(&mut self) {
+        let endpoint = |number: u32| Endpoint {
+            server: ServerId(number),
+            cell: number as u16,
+            lifecycle: Lifecycle::Ready,
+            weight: 1.0,
+            ..Endpoint::default()
+        };
+        self.handle(Input::EndpointList(
+            EndpointListKind::Full,
+            (0..6).map(endpoint).collect(),
+        ));
+    }
+
+    /// All servers have reported their sessions, and what was found was handed in.
+    fn complete_reconciliation(&mut self) -> Vec<Output> {
+        self.handle(Input::EndpointsKnown);
+        let mut all = self.handle(Input::ReconciliationCompleted);
+        assert!(
+            all.iter()
+                .any(|output| matches!(output, Output::StageReached(RecoveryStage::PaidOnly, _))),
+            "{all:?}"
+        );
+        self.list_endpoints();
+        all.extend(self.handle(Input::ServiceResumed));
+        all
+    }
+}
+
+fn session_found(key: &str, token: u64, server: ServerId) -> Input {
+    let open = OpenRequest {
+        key: key.into(),
+        class: PAID,
+        cell_count: 3,
+        max_rung: 1,
+        ..OpenRequest::default()
+    };
+    Input::SessionFound {
+        token,
+        open,
+        server,
+    }
+}
+
+fn answer(outputs: &[Output], to: Call) -> Option<&Answer> {
+    outputs.iter().find_map(|output| {
+        if let Output::Answer(call, answer) = output {
+            (*call == to).then_some(answer)
+        } else {
+            None
+        }
+    })
+}
+
+fn set_ups(outputs: &[Output]) -> usize {
+    outputs
+        .iter()
+        .filter(|output| matches!(output, Output::StartSetUp { .. }))
+        .count()
+}
+
+#[test]
+fn all_requests_are_queued_during_reconciliation_and_paid_ones_are_served_first() {
+    let mut harness = harness(PreviousShutdown::PowerLost, 0);
+    let (paid, outputs) = harness.open("a", PAID);
+    assert!(outputs.is_empty(), "{outputs:?}");
+    let (free, _) = harness.open("b", FREE);
+    assert_eq!(
+        (harness.core.queued_for_recovery(), harness.core.waiting()),
+        (2, 2)
+    );
+    harness.advance(500 * MS);
+    let outputs = harness.complete_reconciliation();
+    assert_eq!(set_ups(&outputs), 1, "the paid one");
+    assert!(answer(&outputs, paid).is_none());
+    let Some(Answer::Rejected(RejectReason::Recovering, retry_after)) = answer(&outputs, free)
+    else {
+        panic!("{outputs:?}")
+    };
+    assert!(
+        *retry_after > 0 && *retry_after <= SECOND,
+        "no longer than the configured maximum"
+    );
+    // A second without a rejected paid request: all classes are served.
+    harness.advance(SECOND);
+    assert_eq!(harness.core.stage(), RecoveryStage::AllClasses);
+    assert_eq!(set_ups(&harness.open("c", FREE).1), 1);
+}
+
+#[test]
+fn requests_queued_for_recovery_do_not_count_as_overload() {
+    let mut harness = harness(PreviousShutdown::Killed, 0);
+    for n in 0..10 {
+        harness.open(&format!("k{n}"), PAID);
+    }
+    harness.advance(2 * SECOND);
+    assert_eq!(set_ups(&harness.complete_reconciliation()), 10);
+}
+
+#[test]
+fn each_queued_request_is_answered_before_its_viewer_gives_up_though_no_server_reports() {
+    let mut harness = harness(PreviousShutdown::PowerLost, 0);
+    harness.handle(Input::KeyUnresolved {
+        tenant: 0,
+        key: "begun".into(),
+    });
+    let (new, _) = harness.open("new", PAID);
+    let (begun, _) = harness.open("begun", PAID);
+    let (free, _) = harness.open("free", FREE);
+    let outputs = harness.advance(3900 * MS - 1);
+    assert!(outputs.is_empty(), "{outputs:?}");
+    let outputs = harness.advance(2 * SECOND);
+    assert!(matches!(
+        answer(&outputs, new),
+        Some(Answer::Rejected(RejectReason::Recovering, _))
+    ));
+    // Why it fails: a rejection states that nothing ran.
+    assert_eq!(
+        answer(&outputs, begun),
+        Some(&Answer::Failed(FailureReason::NoAnswer))
+    );
+    assert!(matches!(answer(&outputs, free), Some(Answer::Rejected(..))));
+    assert_eq!(harness.core.queued_for_recovery(), 0);
+    // No server is known that could report: later requests are rejected at once with a Retry-After.
+    let (late, outputs) = harness.open("late", FREE);
+    assert!(matches!(
+        answer(&outputs, late),
+        Some(Answer::Rejected(RejectReason::Recovering, _))
+    ));
+}
+
+#[test]
+fn where_the_disk_was_lost_no_paid_request_is_rejected_as_if_nothing_ran() {
+    let mut harness = harness(PreviousShutdown::Unknown, 0);
+    let (paid, _) = harness.open("a", PAID);
+    let outputs = harness.advance(5 * SECOND);
+    assert_eq!(
+        answer(&outputs, paid),
+        Some(&Answer::Failed(FailureReason::NoAnswer))
+    );
+}
+
+#[test]
+fn keys_of_previous_incarnations_have_the_outcome_that_servers_reported() {
+    let mut harness = harness(PreviousShutdown::PowerLost, 0);
+    for key in ["spent", "failed", "never"] {
+        harness.handle(Input::KeyUnresolved {
+            tenant: 0,
+            key: key.into(),
+        });
+    }
+    let calls: Vec<Call> = ["spent", "failed", "never"]
+        .map(|key| harness.open(key, PAID).0)
+        .into();
+    let resolutions = [
+        ("spent", Some(RequestOutcome::Played)),
+        ("failed", Some(RequestOutcome::Failed)),
+        ("never", None),
+    ];
+    for (key, outcome) in resolutions {
+        harness.handle(Input::KeyResolved {
+            tenant: 0,
+            key: key.into(),
+            class: PAID,
+            past: outcome,
+        });
+    }
+    let outputs = harness.complete_reconciliation();
+    assert_eq!(
+        answer(&outputs, calls[0]),
+        Some(&Answer::Failed(FailureReason::KeySpent))
+    );
+    assert_eq!(
+        answer(&outputs, calls[1]),
+        Some(&Answer::Failed(FailureReason::NoAnswer))
+    );
+    assert_eq!(set_ups(&outputs), 1, "a key that never ran is set up");
+}
+
+#[test]
+fn a_class_that_is_no_longer_configured_counts_as_paid() {
+    let mut harness = harness(PreviousShutdown::PowerLost, 0);
+    harness.handle(Input::KeyResolved {
+        tenant: 0,
+        key: "k".into(),
+        class: u8::MAX,
+        past: Some(RequestOutcome::Played),
+    });
+    harness.complete_reconciliation();
+    let (call, outputs) = harness.open("k", PAID);
+    assert_eq!(
+        answer(&outputs, call),
+        Some(&Answer::Failed(FailureReason::KeySpent))
+    );
+}
+
+#[test]
+fn a_session_found_at_a_server_waits_for_its_viewer_and_is_torn_down_without_him() {
+    for reattaches in [true, false] {
+        let mut harness = harness(PreviousShutdown::PowerLost, 0);
+        harness.complete_reconciliation();
+        let outputs = harness.handle(session_found("kept", 5, ServerId(2)));
+        let [Output::FoundSessionHandled {
+            token: 5,
+            attempt: Some(attempt),
+            server: ServerId(2),
+        }] = outputs[..]
+        else {
+            panic!("{outputs:?}")
+        };
+        assert_eq!(harness.core.playing(), 1);
+        let again = harness.handle(session_found("kept", 6, ServerId(3)));
+        assert!(
+            matches!(
+                again[..],
+                [Output::FoundSessionHandled { attempt: None, .. }]
+            ),
+            "one session a key: {again:?}"
+        );
+        harness.advance(9 * SECOND);
+        if reattaches {
+            let (call, outputs) = harness.open("kept", PAID);
+            assert!(
+                matches!(answer(&outputs, call), Some(Answer::Established { attempt: a, .. }) if *a == attempt),
+                "{outputs:?}"
+            );
+            assert_eq!(set_ups(&outputs), 0);
+        }
+        let outputs = harness.advance(5 * SECOND);
+        let ended = outputs.contains(&Output::TearDown(attempt, ServerId(2)));
+        assert_eq!(
+            (ended, harness.core.playing()),
+            (!reattaches, usize::from(reattaches))
+        );
+    }
+}
+
+#[test]
+fn a_smaller_fleet_does_not_count_until_servers_had_time_to_warm_up() {
+    let mut harness = harness(PreviousShutdown::PowerLost, 40);
+    assert_eq!(harness.core.replica_count(), 40);
+    harness.handle(Input::FleetSizeChanged(11));
+    harness.complete_reconciliation();
+    harness.advance(5 * SECOND);
+    assert_eq!(
+        (harness.core.stage(), harness.core.replica_count()),
+        (RecoveryStage::AllClasses, 40)
+    );
+    harness.handle(Input::FleetSizeChanged(50));
+    assert_eq!(
+        harness.core.replica_count(),
+        50,
+        "a larger fleet counts at once"
+    );
+    harness.handle(Input::FleetSizeChanged(11));
+    harness.advance(20 * SECOND);
+    assert_eq!(
+        (harness.core.stage(), harness.core.replica_count()),
+        (RecoveryStage::Normal, 11)
+    );
+}
+
+#[test]
+fn after_a_clean_shutdown_nothing_is_queued() {
+    let mut harness = harness(PreviousShutdown::Clean, 40);
+    harness.list_endpoints();
+    assert_eq!(
+        (harness.core.stage(), harness.core.replica_count()),
+        (RecoveryStage::Normal, 2)
+    );
+    assert_eq!(set_ups(&harness.open("a", FREE).1), 1);
+}
+
+#[test]
+fn the_recovery_queue_is_bounded_and_players_that_leave_get_no_answer() {
+    let mut harness = harness(PreviousShutdown::PowerLost, 0);
+    let calls: Vec<(Call, Vec<Output>)> = (0..25)
+        .map(|n| harness.open(&format!("k{n}"), PAID))
+        .collect();
+    let rejected = calls.iter().filter(|(call, outputs)| {
+        matches!(
+            answer(outputs, *call),
+            Some(Answer::Rejected(RejectReason::TooManyPending, _))
+        )
+    });
+    assert_eq!(
+        (rejected.count(), harness.core.queued_for_recovery()),
+        (5, 20)
+    );
+    harness.handle(Input::PlayerDisconnected(calls[0].0.player));
+    harness.handle(Input::Leave(calls[1].0.player));
+    assert_eq!(harness.core.queued_for_recovery(), 18);
+    let outputs = harness.handle(Input::Stop);
+    assert!(answer(&outputs, calls[0].0).is_none() && answer(&outputs, calls[2].0).is_some());
+}
+
+#[test]
+fn an_attempt_deferred_by_a_slow_disk_was_not_sent_and_is_no_failure() {
+    for is_deferred in [true, false] {
+        let mut harness = harness(PreviousShutdown::Clean, 0);
+        harness.list_endpoints();
+        let (call, outputs) = harness.open("a", PAID);
+        let started = |output: &Output| {
+            if let Output::StartSetUp { attempt, .. } = output {
+                Some(*attempt)
+            } else {
+                None
+            }
+        };
+        let mut attempt = outputs.iter().find_map(started).unwrap();
+        let mut outputs_since = Vec::new();
+        while harness.core.waiting() > 0 {
+            harness.handle(Input::SendDeferred(attempt, is_deferred));
+            let outputs = harness.advance(100 * MS);
+            attempt = outputs.iter().find_map(started).unwrap_or(attempt);
+            outputs_since.extend(outputs);
+        }
+        let is_rejected = matches!(answer(&outputs_since, call), Some(Answer::Rejected(..)));
+        let has_failed = matches!(answer(&outputs_since, call), Some(Answer::Failed(..)));
+        assert_eq!(
+            (is_rejected, has_failed),
+            (is_deferred, !is_deferred),
+            "{outputs_since:?}"
+        );
+    }
+}
