Cross-zone traffic and its reports: tests that pin figures and printed texts

The order of floating-point sums, the JSON of reports, tables, CSV and the plot must come through the rewriting unchanged. A simulated front's caps, policies, budgets and reports are digested each second. Measured on the code as it was: the digests in the tests.

--- /dev/null
+++ b/crates/cross-zone-traffic/tests/report_digits.rs
@@ -0,0 +1,201 @@
+//! Pins the reports of a simulated front to the last digit: the order in which floating-point values are added shows here.
+use crankpaddle_cross_zone_traffic::budget::{FrontPosition, SharedBudget};
+use crankpaddle_cross_zone_traffic::cross_zone_admission::CrossZoneLimit;
+use crankpaddle_cross_zone_traffic::report::{merge, TrafficNames, TrafficReport};
+use crankpaddle_cross_zone_traffic::traffic_controller::{
+    AttemptUsage, TrafficClass, TrafficConfig, TrafficController,
+};
+use oorandom::Rand64;
+use std::collections::BTreeMap;
+
+const SECOND: u64 = 1_000_000_000;
+const START: u64 = 1_000_000 * SECOND;
+const SERVERS: u32 = 9;
+const CLASSES: u8 = 3;
+const SIMULATED_SECONDS: u64 = 400;
+
+/// FNV-1a, 64 bits.
+fn digest(text: &str) -> u64 {
+    text.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
+
+fn names() -> TrafficNames {
+    let of = |names: &[&str]| names.iter().map(|n| (*n).to_owned()).collect();
+    TrafficNames {
+        zones: of(&["north", "south", "west"]),
+        classes: of(&["paid", "preview", "trailer"]),
+        tenants: of(&["main", "partner"]),
+        groups: of(&["", "sport"]),
+    }
+}
+
+fn limit(from: u8, class: Option<u8>, rate_kb: f64, volume: f64) -> CrossZoneLimit {
+    let shared = SharedBudget {
+        rate_kb,
+        burst: rate_kb * 7000.0,
+        volume,
+        period: 50 * SECOND,
+        repay: 20 * SECOND,
+    };
+    CrossZoneLimit {
+        from,
+        class,
+        shared,
+    }
+}
+
+fn controller(index: u32) -> TrafficController {
+    let class = |paid, rates: [f64; 3]| TrafficClass {
+        paid,
+        kb: rates.to_vec(),
+    };
+    let mut controller = TrafficController::new(TrafficConfig {
+        place: FrontPosition { index, siblings: 3 },
+        zone: 0,
+        classes: vec![
+            class(true, [51.3, 133.7, 301.9]),
+            class(false, [41.1, 87.3, 211.7]),
+            class(false, [33.3, 66.7, 99.9]),
+        ],
+        limits: vec![
+            limit(1, None, 1900.7, f64::INFINITY),
+            limit(1, Some(0), 700.3, f64::INFINITY),
+            limit(2, None, 2500.1, 9e7),
+        ],
+        note_delay: SECOND / 2,
+    });
+    for server in 0..SERVERS {
+        controller.endpoint_listed(server, (server % 3) as u8, true);
+    }
+    controller
+}
+
+/// Sessions that start, are counted, change their rung and end at random; servers that fail and come back.
+fn simulated_report(front: u32) -> (TrafficReport, String) {
+    let mut random = Rand64::new(u128::from(front) + 11);
+    let mut controller = controller(front);
+    let mut sent: BTreeMap<u64, u64> = BTreeMap::new();
+    let mut log = String::new();
+    let mut next_id = 0;
+    let (mut capped, mut uncapped) = (0, 0);
+    for step in 0..SIMULATED_SECONDS * 4 {
+        let now = START + step * SECOND / 4 + random.rand_range(0..1000);
+        for _ in 0..random.rand_range(0..3) {
+            next_id += 1;
+            let class = random.rand_range(0..u64::from(CLASSES)) as u8;
+            controller.session_requested(class, now);
+            controller.attempt_started(AttemptUsage {
+                id: next_id,
+                number: random.rand_range(0..2) as u8,
+                server: random.rand_range(0..u64::from(SERVERS)) as u32,
+                class,
+                tenant: random.rand_range(0..2) as u16,
+                group: random.rand_range(0..2) as u16,
+                rung: random.rand_range(0..3) as u8,
+            });
+            if random.rand_range(0..10) > 0 {
+                controller.session_established(next_id, now);
+            }
+            sent.insert(next_id, 0);
+        }
+        let ids: Vec<u64> = sent.keys().copied().collect();
+        for id in ids {
+            match random.rand_range(0..40) {
+                0 => {
+                    controller.attempt_ended(id, random.rand_range(0..3) == 0, now);
+                    let bytes = sent.remove(&id).unwrap_or(0);
+                    if random.rand_range(0..3) > 0 {
+                        controller.final_bytes_counted(id, bytes + 777, now + SECOND);
+                    }
+                }
+                1 => controller.rung_changed(id, random.rand_range(0..3) as u8, now),
+                2..14 => {
+                    let bytes = sent.entry(id).or_default();
+                    *bytes += random.rand_range(0..90_000);
+                    controller.bytes_counted(id, *bytes, now);
+                }
+                _ => {}
+            }
+        }
+        if step % 4 == 3 {
+            let server = random.rand_range(0..u64::from(SERVERS)) as u32;
+            match random.rand_range(0..30) {
+                0 => controller.server_lost(server),
+                1 => controller.endpoint_listed(server, (server % 3) as u8, false),
+                _ => {}
+            }
+            for server in 0..SERVERS {
+                let rate_kb = random.rand_float() * 500.0;
+                let rates = BTreeMap::from([(0, rate_kb), (1, rate_kb * 0.7), (2, rate_kb / 3.0)]);
+                controller.usage_reported(server, rates, now);
+                if random.rand_range(0..3) == 0 {
+                    controller.delivery_reported(server, random.rand_float(), now);
+                }
+            }
+            let caps = controller.tick(now);
+            capped += caps.lower.len();
+            uncapped += caps.restore.len();
+            log += &format!("{:?} {:?} ", caps.lower, caps.restore);
+            for (zone, class, policy) in controller.policy_changes(now) {
+                log += &format!("{zone} {class} {policy:?} ");
+            }
+            log += &format!("{:?}\n", controller.zones_observed(now));
+            while !controller.settle_usage(now, 7) {}
+            let report = TrafficReport::of(&mut controller, front, 0, &names(), now);
+            log += &serde_json::to_string(&report.budgets).unwrap();
+        }
+    }
+    assert!(capped > 0 && uncapped > 0, "{capped} {uncapped}");
+    let now = START + SIMULATED_SECONDS * SECOND;
+    let report = TrafficReport::of(&mut controller, front, 0, &names(), now);
+    (report, log)
+}
+
+#[test]
+fn reports_of_a_simulated_front_are_the_same_to_the_last_digit() {
+    let (reports, logs): (Vec<TrafficReport>, Vec<String>) = (0..3).map(simulated_report).unzip();
+    let log_digests: Vec<u64> = logs.iter().map(|log| digest(log)).collect();
+    let report_digests: Vec<u64> = reports
+        .iter()
+        .map(|report| digest(&serde_json::to_string(report).unwrap()))
+        .collect();
+    let merged = serde_json::to_string(&merge(reports)).unwrap();
+    assert_eq!(
+        (log_digests, report_digests, digest(&merged)),
+        (
+            vec![
+                1_621_074_640_404_408_739,
+                7_166_035_392_542_049_294,
+                14_497_016_970_679_998_416,
+            ],
+            vec![
+                16_157_981_076_643_866_192,
+                15_771_065_494_223_948_107,
+                1_325_735_570_238_748_426,
+            ],
+            17_428_430_988_768_577_784
+        )
+    );
+}
+
+#[test]
+fn a_saved_report_is_taken_over_the_same_to_the_last_digit() {
+    let (report, _) = simulated_report(0);
+    let renamed = TrafficNames {
+        classes: vec!["paid".into(), "teaser".into()],
+        ..names()
+    };
+    let digests = [names(), renamed].map(|names| {
+        let mut controller = controller(0);
+        assert!(controller.restore(&report.saved_flows(&names)));
+        let now = START + (SIMULATED_SECONDS + 60) * SECOND;
+        let restored = TrafficReport::of(&mut controller, 0, 0, &names, now);
+        digest(&serde_json::to_string(&restored).unwrap())
+    });
+    assert_eq!(
+        digests,
+        [12_420_699_621_862_273_951, 13_836_589_057_678_710_679]
+    );
+}
--- /dev/null
+++ b/crates/traffic-report/tests/printed_bytes.rs
@@ -0,0 +1,121 @@
+//! Pins the printed texts and the plot of a report, to the byte.
+use crankpaddle_cross_zone_traffic::report::{BudgetReport, ByteTotals, FlowReport, TrafficReport};
+use crankpaddle_traffic_report::{csv, load, svg, table, watch_line};
+
+const MINUTE_MS: u64 = 60_000;
+
+/// FNV-1a, 64 bits.
+fn digest(text: &str) -> u64 {
+    text.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
+
+fn flow(from: &str, class: &str, scale: u64) -> FlowReport {
+    let spans = |count: u64, length_ms: u64| {
+        (1..count)
+            .map(|n| ByteTotals {
+                at_ms: n * length_ms * scale,
+                bytes: 6_543_210 * n * scale,
+            })
+            .collect()
+    };
+    FlowReport {
+        from: from.into(),
+        to: "north".into(),
+        class: class.into(),
+        tenant: if scale > 1 { "main" } else { "" }.into(),
+        group: if scale > 1 { "sport, \"live\"" } else { "" }.into(),
+        purpose: "playing".into(),
+        crosses: from != "north",
+        bytes: 987_654_321 * scale,
+        measured_bytes: 900_000_000 * scale,
+        corrected_bytes: 80_000_000 * scale,
+        estimated_bytes: 10_000_000 * scale,
+        overstated_bytes: 2_345_679 * scale,
+        minutes: spans(7, MINUTE_MS),
+        hours: spans(3, 60 * MINUTE_MS),
+    }
+}
+
+fn budget(class: &str, rate_kb: f64) -> BudgetReport {
+    BudgetReport {
+        from: "south".into(),
+        to: "north".into(),
+        class: class.into(),
+        rate_kb,
+        part: 1.0 / 3.0,
+        level: (rate_kb > 0.0).then_some(0.777),
+        paid_kb: 150.4,
+        other_kb: 99.6,
+        overdraft_hall_lost_bytes: 999,
+        overdraft_hall_full_bytes: 123_456,
+        written_off_bytes: 5_000_000_000,
+        lowered_sessions: 2,
+    }
+}
+
+fn report() -> TrafficReport {
+    TrafficReport {
+        front: 4,
+        at_ms: 99 * MINUTE_MS,
+        flows: vec![
+            flow("south", "preview", 1),
+            flow("south", "paid", 2),
+            flow("west", "paid", 1),
+            flow("north", "paid", 3),
+        ],
+        budgets: vec![budget("", 2000.0), budget("paid", 0.0)],
+        unsettled_sessions: 5,
+        too_late: 6,
+    }
+}
+
+#[test]
+fn texts_and_plot_are_the_same_to_the_byte() {
+    let report = report();
+    let none = TrafficReport::default();
+    assert_eq!(
+        svg(&none).unwrap_err().to_string(),
+        "nothing crossed in late minutes"
+    );
+    let texts = [
+        table(&report),
+        csv(&report),
+        watch_line(&report),
+        svg(&report).unwrap(),
+        table(&none),
+        csv(&none),
+        watch_line(&none),
+    ];
+    assert_eq!(
+        texts.map(|text| digest(&text)),
+        [
+            8_381_157_589_588_852_231,
+            13_084_634_938_094_523_375,
+            4_177_928_792_566_881_763,
+            4_937_033_294_448_281_335,
+            1_671_571_345_259_751_641,
+            1_689_502_806_817_133_226,
+            8_114_275_337_846_584_901,
+        ]
+    );
+}
+
+#[test]
+fn a_file_that_holds_no_report_is_an_error_with_the_same_text() {
+    let directory = std::env::temp_dir().join(format!("traffic-report-{}", std::process::id()));
+    std::fs::create_dir_all(&directory).unwrap();
+    let path = directory.join("report");
+    let absent = load(&path).unwrap_err().to_string();
+    std::fs::write(&path, "{}").unwrap();
+    let malformed = load(&path).unwrap_err().to_string();
+    std::fs::remove_dir_all(&directory).unwrap();
+    assert_eq!(
+        [absent.as_str(), malformed.as_str()],
+        [
+            "No such file or directory (os error 2)",
+            "is no report of traffic: missing field `front` at line 1 column 2"
+        ]
+    );
+}
