--- a/crates/traffic-report/src/plot.rs
+++ b/crates/traffic-report/src/plot.rs
@@ -92,37 +92,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crankpaddle_cross_zone_traffic::report::{ByteTotals, FlowReport};
-
-    #[test]
-    fn a_plot_names_its_lines_and_nothing_to_draw_is_said() {
-        assert!(svg(&TrafficReport::default()).is_err());
-        let minutes = (0..5)
-            .map(|n| ByteTotals {
-                at_ms: n * MINUTE_MS,
-                bytes: 6_000_000 * n,
-            })
-            .collect();
-        let (from, to, class) = ("south".into(), "north".into(), "preview".into());
-        let flow = FlowReport {
-            from,
-            to,
-            class,
-            crosses: true,
-            minutes,
-            ..FlowReport::default()
-        };
-        let text = svg(&TrafficReport {
-            flows: vec![flow],
-            ..TrafficReport::default()
-        })
-        .unwrap();
-        assert!(
-            text.starts_with("<svg") && text.contains("south &gt; north, preview"),
-            "{text}"
-        );
-        assert!(text.contains("polyline") || text.contains("<path"));
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/traffic-report/src/text/tests.rs
@@ -0,0 +1,65 @@
+use super::*;
+use crankpaddle_cross_zone_traffic::report::ByteTotals;
+
+fn report() -> TrafficReport {
+    let flow = FlowReport {
+        from: "south".into(),
+        to: "north".into(),
+        class: "a \"quoted\", class".into(),
+        purpose: "playing".into(),
+        crosses: true,
+        bytes: 1_234_567,
+        measured_bytes: 1_234_567,
+        hours: vec![ByteTotals {
+            at_ms: 3_600_000,
+            bytes: 1_234_567,
+        }],
+        ..FlowReport::default()
+    };
+    let budget = BudgetReport {
+        from: "south".into(),
+        to: "north".into(),
+        class: String::new(),
+        rate_kb: 200.0,
+        part: 1.0,
+        level: None,
+        paid_kb: 150.0,
+        other_kb: 100.0,
+        overdraft_hall_lost_bytes: 999,
+        overdraft_hall_full_bytes: 0,
+        written_off_bytes: 0,
+        lowered_sessions: 2,
+    };
+    TrafficReport {
+        flows: vec![flow],
+        budgets: vec![budget],
+        ..TrafficReport::default()
+    }
+}
+
+#[test]
+fn tables_align_and_name_what_is_used() {
+    let text = table(&report());
+    let lines: Vec<&str> = text.lines().collect();
+    let at = lines[0].find("BYTES").unwrap();
+    assert!(
+        lines[1][at..].starts_with("1.2 MB") && lines[1].ends_with("100.0%"),
+        "{text}"
+    );
+    assert!(text.contains("125%") && text.contains("999 B"), "{text}");
+    assert_eq!(
+        watch_line(&report()),
+        "south > north: paid 150 rest 100 of 200 kB/s (125%), over 999 B, lowered 2"
+    );
+}
+
+#[test]
+fn csv_quotes_what_must_be_and_every_line_has_the_same_fields() {
+    let text = csv(&report());
+    assert_eq!(text.matches("\r\n").count(), 3);
+    assert!(
+        text.contains("south,north,\"a \"\"quoted\"\", class\",,,playing,true,3600000,1234567,,,,")
+    );
+    let plain = text.replace("\"a \"\"quoted\"\", class\"", "class");
+    assert!(plain.lines().all(|l| l.split(',').count() == 13), "{plain}");
+}
