--- a/crates/benchmark/src/account.rs
+++ b/crates/benchmark/src/account.rs
@@ -38,19 +38,19 @@
         repay: 60 * SECOND,
     };
     let mut desk = TrafficController::new(TrafficConfig {
-        place: FrontPosition {
+        position: FrontPosition {
             index: 0,
-            siblings: 1,
+            replica_count: 1,
         },
         zone: 0,
         classes: vec![
             TrafficClass {
                 paid: true,
-                kb: vec![300.0],
+                rung_rates_kb: vec![300.0],
             },
             TrafficClass {
                 paid: false,
-                kb: vec![200.0],
+                rung_rates_kb: vec![200.0],
             },
         ],
         limits: vec![CrossZoneLimit {
@@ -58,7 +58,7 @@
             class: None,
             shared,
         }],
-        note_delay: SECOND / 2,
+        report_delay: SECOND / 2,
     });
     (0..SERVERS).for_each(|server| desk.endpoint_listed(server, (server % 2) as u8, true));
     desk
--- /dev/null
+++ b/crates/cross-zone-traffic/src/cross_zone_admission/crossing_session.rs
@@ -0,0 +1,60 @@
+//! A session that crosses between zones: its rate, what it sent, and what is reserved for it.
+use super::budget_pool::{BudgetKey, BudgetPool};
+use super::types::CapReason;
+use crate::{BYTES_PER_KB, SECOND};
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CrossingSession {
+    /// The budget that it is counted in.
+    pub(super) budget: BudgetKey,
+    pub(super) is_paid: bool,
+    pub(super) rate_kb: f64,
+    pub(super) lowest_rate_kb: f64,
+    /// Its rate before it was capped, kB a second.
+    pub(super) uncapped_rate_kb: f64,
+    /// Bytes that are reserved for it.
+    pub(super) reserved: f64,
+    pub(super) started_at: u64,
+    /// Since when it has the present rate, nanoseconds.
+    pub(super) rate_since: u64,
+    /// Bytes that it sent before `rate_since`.
+    pub(super) sent: f64,
+    pub(super) is_capped: bool,
+    /// Why it was reserved beyond the budget, if it was.
+    pub(super) overdrawn: Option<CapReason>,
+}
+
+impl CrossingSession {
+    /// Bytes that it has sent by now.
+    pub(super) fn sent_by(&self, now: u64) -> f64 {
+        self.sent + self.rate_kb * BYTES_PER_KB * seconds_between(self.rate_since, now)
+    }
+
+    /// Seconds since it started.
+    pub(super) fn age(&self, now: u64) -> f64 {
+        seconds_between(self.started_at, now)
+    }
+
+    /// Accounts for what was sent until now and continues at a rate; what is reserved is corrected to what it sent and
+    /// will send in `remaining_seconds` at that rate.
+    pub(super) fn continue_at(
+        &mut self,
+        rate_kb: f64,
+        now: u64,
+        remaining_seconds: f64,
+        pool: Option<&mut BudgetPool>,
+    ) {
+        self.sent = self.sent_by(now);
+        self.rate_kb = rate_kb;
+        self.rate_since = now.max(self.rate_since);
+        let expected = self.sent + rate_kb * BYTES_PER_KB * remaining_seconds;
+        if let Some(pool) = pool {
+            pool.correct(now, self, expected);
+        }
+        self.reserved = expected;
+    }
+}
+
+fn seconds_between(from: u64, to: u64) -> f64 {
+    to.saturating_sub(from) as f64 / SECOND as f64
+}
--- a/crates/cross-zone-traffic/src/cross_zone_admission/mod.rs
+++ b/crates/cross-zone-traffic/src/cross_zone_admission/mod.rs
@@ -1,507 +1,413 @@
-//! What may start crossing between halls, what is lowered, and in which order it comes back.
+//! Admission of sessions that cross between zones: which may start, which are capped, and in which order caps are lifted.
 //!
-//! Which server and rung a request gets stays with the placement module; this says how it may choose from other zones.
-//! Paid service goes before the budget: it crosses when its own hall can't serve it, the overdraft is counted with its
-//! cause, and previews repay it by staying at home, or at their least rung, until the debt is down again; for a bounded
-//! time, after which the rest is written off.
-use crate::budget::{Budget, FrontPosition, SharedBudget};
-use crate::quota_share::{QuotaShare, UsageReports};
-use crate::SECOND;
+//! Which server and rung a request gets stays with the placement module; this module states how it may choose from other
+//! zones. Paid sessions have priority over the budget: they cross when their own zone can't serve them, the overdraft is
+//! counted with its cause, and previews repay it by staying in their own zone, or at their lowest rung, until the debt has
+//! drained; for a bounded time, after which the rest is written off.
+mod budget_pool;
+mod crossing_session;
+mod rate_caps;
+mod types;
+
 pub use crankpaddle::CrossZonePolicy;
+pub use types::{
+    BudgetStatus, CapReason, CrossZoneLimit, PolicyChange, RateCapChanges, SessionStart,
+};
+
+use crate::budget::FrontPosition;
+use crate::quota_share::{ObservedUsage, UsageReports};
+use crate::BYTES_PER_KB;
+use budget_pool::{BudgetKey, BudgetPool};
+use crossing_session::CrossingSession;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Over this level of the budget nothing but paid service starts to cross ...
-const SHORT: f64 = 1.0;
-/// ... until it is down here again. Danger: without the gap, each session that ends lets one start, and lowered ones
-/// flap. Harm: a part of the burst lies unused.
-const OPEN: f64 = 0.9;
-/// Over this level previews that cross are lowered; overdrafts of paid service and lent parts that are given back lead
-/// there.
-const RELIEVE: f64 = 1.5;
-/// Under this level those that were lowered may rise again, one a look, the least costly first.
-const RESTORE: f64 = 0.6;
-/// Relief happens no oftener than this: what was lowered must first show.
-const RELIEF_PAUSE: u64 = 2 * SECOND;
-/// Weight of a session that ended in the mean length.
-const LEARN: f64 = 0.05;
-
-/// Why paid service crossed beyond the budget.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum CapReason {
-    /// No server of its own hall was up.
-    HallLost,
-    /// Its own hall had no room, or does not hold the title.
-    HallFull,
-}
-
-/// A budget for what goes from a zone to this front's; `class`: for one class alone, else for all that have none.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct CrossZoneLimit {
-    /// The zone of the servers.
-    pub from: u8,
-    /// The class.
-    pub class: Option<u8>,
-    /// What all fronts share.
-    pub shared: SharedBudget,
-}
-
-/// A session that starts to cross.
-#[derive(Clone, Copy, Debug)]
-pub struct SessionStart {
-    /// The session.
-    pub session: u64,
-    /// The zone of its server.
-    pub from: u8,
-    /// Its class.
-    pub class: u8,
-    /// Its rate, kB a second.
-    pub kb: f64,
-    /// That of its lowest rung.
-    pub least_kb: f64,
-    /// Why it crosses, should it be beyond the budget.
-    pub cause: CapReason,
-}
-
-/// Sessions whose highest rung changes.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct RateCapChanges {
-    /// To their lowest.
-    pub lower: Vec<u64>,
-    /// As high as they may.
-    pub restore: Vec<u64>,
-}
-
-/// How one budget stands.
-#[derive(Clone, Debug, PartialEq)]
-pub struct BudgetStatus {
-    /// The budget.
-    pub limit: CrossZoneLimit,
-    /// This front's part of it.
-    pub part: f64,
-    /// Debt over this front's part of the burst.
-    pub level: f64,
-    /// kB a second that cross under it now, of paid service and of the rest.
-    pub crossing_kb: (f64, f64),
-    /// Bytes beyond it so far, by cause.
-    pub overdrafts: BTreeMap<CapReason, f64>,
-    /// Bytes that were written off.
-    pub written_off: f64,
-    /// Sessions at their lowest rung for it now.
-    pub lowered: usize,
-}
-
-/// A session that crosses.
-#[derive(Clone, Copy, Debug)]
-struct Held {
-    key: Key,
-    paid: bool,
-    kb: f64,
-    least_kb: f64,
-    full_kb: f64,  // What it had before it was lowered.
-    expected: f64, // Bytes that are reserved for it.
-    started: u64,
-    since: u64, // Of the present rate, and the bytes before.
-    sent: f64,
-    lowered: bool,
-    overdrawn: Option<CapReason>,
-}
-
-type Key = (u8, Option<u8>);
-
-#[derive(Clone, Debug)]
-struct Pool {
-    budget: Budget,
-    part: QuotaShare,
-    short: bool,
-    relieved: u64,
-    overdrafts: BTreeMap<CapReason, f64>,
-}
-
-impl Pool {
-    fn new(shared: SharedBudget, place: FrontPosition) -> Pool {
-        Pool {
-            budget: Budget::new(shared, place),
-            part: QuotaShare::new(place.equal_part()),
-            short: false,
-            relieved: 0,
-            overdrafts: BTreeMap::new(),
-        }
-    }
-
-    /// A session is taken to send so much in all.
-    fn correct(&mut self, now: u64, held: &Held, bytes: f64) {
-        self.budget
-            .correct(now, held.expected, bytes, held.overdrawn.is_some());
-        if let Some(sum) = held
-            .overdrawn
-            .and_then(|cause| self.overdrafts.get_mut(&cause))
-        {
-            *sum = (*sum + bytes - held.expected).max(0.0);
-        }
-    }
+/// Weight of a session that ended in the mean session length.
+const LENGTH_WEIGHT: f64 = 0.05;
+/// The shortest length that is assumed of a session, seconds.
+const MIN_SESSION_LENGTH: f64 = 0.1;
+/// The least rate that usage is divided by, kB a second; a budget may be 0.
+const MIN_BUDGET_RATE_KB: f64 = 1e-9;
+/// Classes are numbered in a byte.
+const MAX_CLASSES: usize = 256;
 
-    fn look(&mut self, now: u64) {
-        let level = self.budget.level(now);
-        self.short = level >= if self.short { OPEN } else { SHORT };
-    }
+/// A zone and a class that may be served from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ZoneClass {
+    zone: u8,
+    class: u8,
 }
 
-/// The crossing traffic of one front, whose viewers are in one zone.
+/// The traffic of one front, whose viewers are in one zone, from other zones.
 #[derive(Clone, Debug)]
 pub struct CrossZoneAdmission {
-    paid: Vec<bool>, // By class.
-    pools: BTreeMap<Key, Pool>,
-    held: BTreeMap<u64, Held>,
-    reports: BTreeMap<u8, UsageReports>, // By the zone of the servers.
-    servers: BTreeMap<u8, BTreeSet<u32>>, // Those that are up.
-    told: BTreeMap<(u8, u8), CrossZonePolicy>,
-    length: f64, // Mean length of sessions, seconds.
+    /// By class: whether it has priority over budgets.
+    paid_classes: Vec<bool>,
+    pools: BTreeMap<BudgetKey, BudgetPool>,
+    sessions: BTreeMap<u64, CrossingSession>,
+    /// By the zone of the servers.
+    usage_reports: BTreeMap<u8, UsageReports>,
+    /// Servers that are up, by zone.
+    servers_up: BTreeMap<u8, BTreeSet<u32>>,
+    /// The policies that were last returned as changes.
+    notified_policies: BTreeMap<ZoneClass, CrossZonePolicy>,
+    /// Seconds.
+    mean_session_length: f64,
 }
 
 impl CrossZoneAdmission {
-    /// `paid`: for each class whether it goes before the budget. A zone without a budget is free. `length`: mean length
-    /// of sessions, seconds, until ends are seen.
+    /// `paid_classes`: for each class whether it has priority over budgets. A zone without a budget is unlimited.
+    /// `mean_session_length`: seconds, assumed until sessions have ended.
+    #[must_use]
     pub fn new(
-        paid: Vec<bool>,
+        paid_classes: Vec<bool>,
         limits: &[CrossZoneLimit],
-        place: FrontPosition,
-        length: f64,
+        position: FrontPosition,
+        mean_session_length: f64,
     ) -> CrossZoneAdmission {
-        let mut crossing = CrossZoneAdmission {
-            paid,
+        let mut admission = CrossZoneAdmission {
+            paid_classes,
             pools: BTreeMap::new(),
-            held: BTreeMap::new(),
-            reports: BTreeMap::new(),
-            servers: BTreeMap::new(),
-            told: BTreeMap::new(),
-            length: length.max(0.1),
+            sessions: BTreeMap::new(),
+            usage_reports: BTreeMap::new(),
+            servers_up: BTreeMap::new(),
+            notified_policies: BTreeMap::new(),
+            mean_session_length: mean_session_length.max(MIN_SESSION_LENGTH),
         };
-        crossing.change(limits, place);
-        crossing
+        admission.reconfigure(limits, position);
+        admission
+    }
+
+    /// Changes the budgets and the position; what flows and what is owed stays. A zone that has no budget any more is
+    /// unlimited; sessions that flow under another budget from now on are counted there.
+    pub fn reconfigure(&mut self, limits: &[CrossZoneLimit], position: FrontPosition) {
+        let configured: BTreeSet<BudgetKey> = limits.iter().map(BudgetKey::from).collect();
+        self.pools.retain(|key, _| configured.contains(key));
+        for limit in limits {
+            let pool = self
+                .pools
+                .entry(BudgetKey::from(limit))
+                .or_insert_with(|| BudgetPool::new(limit.shared, position));
+            pool.reconfigure(limit.shared, position);
+        }
     }
 
-    fn key(&self, from: u8, class: u8) -> Option<Key> {
-        [(from, Some(class)), (from, None)]
+    /// The budget that applies to a class: its own, or that of the zone.
+    fn budget_key(&self, zone: u8, class: u8) -> Option<BudgetKey> {
+        [Some(class), None]
+            .map(|class| BudgetKey { zone, class })
             .into_iter()
             .find(|key| self.pools.contains_key(key))
     }
 
+    fn budget_keys(&self) -> Vec<BudgetKey> {
+        self.pools.keys().copied().collect()
+    }
+
+    fn budgeted_zones(&self) -> BTreeSet<u8> {
+        self.pools.keys().map(|key| key.zone).collect()
+    }
+
+    fn sessions_of(&self, key: BudgetKey) -> impl Iterator<Item = (u64, &CrossingSession)> {
+        self.sessions
+            .iter()
+            .filter(move |(_, session)| session.budget == key)
+            .map(|(id, session)| (*id, session))
+    }
+
     fn is_paid(&self, class: u8) -> bool {
-        self.paid.get(usize::from(class)).copied().unwrap_or(false)
+        self.paid_classes
+            .get(usize::from(class))
+            .copied()
+            .unwrap_or(false)
+    }
+
+    /// The debt of a budget over the burst; 0 where there is no budget.
+    fn budget_level(&mut self, now: u64, key: BudgetKey) -> f64 {
+        self.pools
+            .get_mut(&key)
+            .map_or(0.0, |pool| pool.budget.level(now))
     }
 
     /// How a class may be served from a zone now.
-    pub fn policy(&mut self, now: u64, from: u8, class: u8) -> CrossZonePolicy {
-        let paid = self.is_paid(class);
-        let Some(pool) = self
-            .key(from, class)
-            .and_then(|key| self.pools.get_mut(&key))
-        else {
+    pub fn policy(&mut self, now: u64, zone: u8, class: u8) -> CrossZonePolicy {
+        let key = self.budget_key(zone, class);
+        let Some(pool) = key.and_then(|key| self.pools.get_mut(&key)) else {
             return CrossZonePolicy::Allowed;
         };
-        pool.look(now);
-        match (!pool.short && pool.budget.conforms(now, 0.0), paid) {
-            (true, _) => CrossZonePolicy::Allowed,
-            (false, true) => CrossZonePolicy::LastResort,
-            (false, false) => CrossZonePolicy::Forbidden,
+        if !pool.update_shortage(now) && pool.budget.conforms(now, 0.0) {
+            return CrossZonePolicy::Allowed;
+        }
+        if self.is_paid(class) {
+            CrossZonePolicy::LastResort
+        } else {
+            CrossZonePolicy::Forbidden
         }
     }
 
-    /// What changed since this was last asked: zone, class and how it may leave. Call it before requests are placed.
-    pub fn policy_changes(&mut self, now: u64) -> Vec<(u8, u8, CrossZonePolicy)> {
-        let zones: BTreeSet<u8> = self.pools.keys().map(|(zone, _)| *zone).collect();
-        let gone = self
-            .told
-            .keys()
-            .filter(|(zone, _)| !zones.contains(zone))
-            .copied();
-        let classes = self.paid.len().min(256) as u16;
-        let named = zones
-            .iter()
-            .flat_map(|zone| (0..classes).map(|class| (*zone, class as u8)));
-        let all: Vec<(u8, u8)> = named.chain(gone).collect();
-        let mut changed = Vec::new();
-        for (zone, class) in all {
-            let leave = self.policy(now, zone, class);
-            if self.told.insert((zone, class), leave).unwrap_or_default() != leave {
-                changed.push((zone, class, leave));
+    /// The policies that changed since the previous call. Call it before requests are placed.
+    pub fn policy_changes(&mut self, now: u64) -> Vec<PolicyChange> {
+        let mut changes = Vec::new();
+        for key in self.policies_to_check() {
+            let ZoneClass { zone, class } = key;
+            let policy = self.policy(now, zone, class);
+            let previous = self.notified_policies.insert(key, policy);
+            if previous.unwrap_or_default() != policy {
+                changes.push(PolicyChange {
+                    zone,
+                    class,
+                    policy,
+                });
             }
         }
-        changed
+        changes
+    }
+
+    /// Each class of each zone that has a budget, then what was notified of zones that have none any more.
+    fn policies_to_check(&self) -> Vec<ZoneClass> {
+        let zones = self.budgeted_zones();
+        let class_count = self.paid_classes.len().min(MAX_CLASSES) as u16;
+        let budgeted = zones.iter().flat_map(|zone| {
+            (0..class_count).map(|class| ZoneClass {
+                zone: *zone,
+                class: class as u8,
+            })
+        });
+        let no_longer_budgeted = self
+            .notified_policies
+            .keys()
+            .filter(|key| !zones.contains(&key.zone))
+            .copied();
+        budgeted.chain(no_longer_budgeted).collect()
     }
 
-    /// A request of a class came: where its budget holds it back, more of it is wanted.
+    /// A request of a class arrived: where a budget holds it back, this front has demand for more of it.
     pub fn session_requested(&mut self, now: u64, class: u8) {
-        let keys: BTreeSet<u8> = self.pools.keys().map(|(zone, _)| *zone).collect();
-        for zone in keys {
-            if self.policy(now, zone, class) != CrossZonePolicy::Allowed {
-                let key = self.key(zone, class);
-                let pool = key.and_then(|key| self.pools.get_mut(&key));
-                pool.into_iter()
-                    .for_each(|pool| pool.part.request_more(now));
+        for zone in self.budgeted_zones() {
+            if self.policy(now, zone, class) == CrossZonePolicy::Allowed {
+                continue;
+            }
+            let key = self.budget_key(zone, class);
+            if let Some(pool) = key.and_then(|key| self.pools.get_mut(&key)) {
+                pool.quota_share.request_more(now);
             }
         }
     }
 
-    /// A session starts to cross; gives the bytes that its budget did not have.
-    pub fn start(&mut self, now: u64, start: SessionStart) -> f64 {
-        let SessionStart {
-            session,
-            from,
-            class,
-            kb,
-            least_kb,
-            cause,
-        } = start;
-        let (expected, paid) = (kb * 1000.0 * self.length, self.is_paid(class));
-        if self.held.contains_key(&session) {
+    /// A session starts to cross; returns the bytes that were reserved beyond its budget.
+    pub fn session_started(&mut self, now: u64, start: SessionStart) -> f64 {
+        if self.sessions.contains_key(&start.session) {
             return 0.0;
         }
-        let Some(key) = self.key(from, class) else {
+        let Some(key) = self.budget_key(start.from, start.class) else {
             return 0.0;
         };
         let Some(pool) = self.pools.get_mut(&key) else {
             return 0.0;
         };
+        let expected = start.rate_kb * BYTES_PER_KB * self.mean_session_length;
         let overdrawn = pool.budget.reserve(now, expected);
         if overdrawn > 0.0 {
-            *pool.overdrafts.entry(cause).or_default() += overdrawn;
-            self.repay(now, key, overdrawn);
+            *pool.overdrafts.entry(start.cause).or_default() += overdrawn;
+            self.charge_other_budgets(now, key, overdrawn);
         }
-        let held = Held {
-            key,
-            paid,
-            kb,
-            least_kb,
-            full_kb: kb,
-            expected,
-            started: now,
-            since: now,
+        let session = CrossingSession {
+            budget: key,
+            is_paid: self.is_paid(start.class),
+            rate_kb: start.rate_kb,
+            lowest_rate_kb: start.lowest_rate_kb,
+            uncapped_rate_kb: start.rate_kb,
+            reserved: expected,
+            started_at: now,
+            rate_since: now,
             sent: 0.0,
-            lowered: false,
-            overdrawn: (overdrawn > 0.0).then_some(cause),
+            is_capped: false,
+            overdrawn: (overdrawn > 0.0).then_some(start.cause),
         };
-        self.held.insert(session, held);
+        self.sessions.insert(start.session, session);
         overdrawn
     }
 
-    /// What a paid class overdrew in a budget of its own, the budgets of the zone's other classes repay.
-    fn repay(&mut self, now: u64, key: Key, bytes: f64) {
-        if key.1.is_none_or(|class| !self.is_paid(class)) {
-            return; // Those who repay are under the same budget.
+    /// Whether a budget is for a paid class alone.
+    fn is_paid_budget(&self, key: BudgetKey) -> bool {
+        key.class.is_some_and(|class| self.is_paid(class))
+    }
+
+    /// Charges what a paid class overdrew in a budget of its own to the budgets of the zone's other classes.
+    fn charge_other_budgets(&mut self, now: u64, overdrawn: BudgetKey, bytes: f64) {
+        if !self.is_paid_budget(overdrawn) {
+            return; // The classes that repay are under the same budget.
         }
-        let free = |k: &Key| k.0 == key.0 && k.1.is_none_or(|class| !self.is_paid(class));
-        let others: Vec<Key> = self.pools.keys().filter(|k| free(k)).copied().collect();
-        for other in &others {
-            if let Some(pool) = self.pools.get_mut(other) {
-                pool.budget.charge(now, bytes / others.len() as f64);
+        let repaying: Vec<BudgetKey> = self
+            .budget_keys()
+            .into_iter()
+            .filter(|key| key.zone == overdrawn.zone && !self.is_paid_budget(*key))
+            .collect();
+        for key in &repaying {
+            if let Some(pool) = self.pools.get_mut(key) {
+                pool.budget.charge(now, bytes / repaying.len() as f64);
             }
         }
     }
 
     /// The rate of a session changed.
-    pub fn rate(&mut self, now: u64, session: u64, kb: f64) {
-        let Some(held) = self.held.get_mut(&session) else {
+    pub fn rate_changed(&mut self, now: u64, session: u64, rate_kb: f64) {
+        let Some(session) = self.sessions.get_mut(&session) else {
             return;
         };
-        flow(held, self.pools.get_mut(&held.key), kb, now, self.length);
+        let pool = self.pools.get_mut(&session.budget);
+        session.continue_at(rate_kb, now, self.mean_session_length, pool);
     }
 
-    /// A session is over.
-    pub fn end(&mut self, now: u64, session: u64) {
-        let Some(held) = self.held.remove(&session) else {
+    /// A session ended.
+    pub fn session_ended(&mut self, now: u64, session: u64) {
+        let Some(session) = self.sessions.remove(&session) else {
             return;
         };
-        let sent = held.sent + held.kb * 1000.0 * seconds(held.since, now);
-        self.length += LEARN * (seconds(held.started, now).max(0.1) - self.length);
-        if let Some(pool) = self.pools.get_mut(&held.key) {
-            pool.correct(now, &held, sent);
+        let length = session.age(now).max(MIN_SESSION_LENGTH);
+        self.mean_session_length += LENGTH_WEIGHT * (length - self.mean_session_length);
+        if let Some(pool) = self.pools.get_mut(&session.budget) {
+            pool.correct(now, &session, session.sent_by(now));
         }
     }
 
-    /// The servers of a zone that are up.
+    /// Replaces the servers of a zone that are up.
     pub fn update_servers(&mut self, zone: u8, servers: BTreeSet<u32>) {
-        self.servers.insert(zone, servers);
+        self.servers_up.insert(zone, servers);
     }
 
-    /// A server reports what crosses from it to this front's zone, for all fronts; `at`: the time that it speaks of.
-    pub fn usage_reported(&mut self, zone: u8, server: u32, at: u64, kb: BTreeMap<u8, f64>) {
-        self.reports.entry(zone).or_default().record(server, at, kb);
+    /// A server reports what crosses from it to this front's zone, kB a second by class, for all fronts; `at`: the time
+    /// that the report describes.
+    pub fn usage_reported(
+        &mut self,
+        zone: u8,
+        server: u32,
+        at: u64,
+        rate_kb_by_class: BTreeMap<u8, f64>,
+    ) {
+        self.usage_reports
+            .entry(zone)
+            .or_default()
+            .record(server, at, rate_kb_by_class);
     }
 
     /// A server is lost: nothing crosses from it until it reports again.
     pub fn server_lost(&mut self, zone: u8, server: u32) {
-        self.reports.entry(zone).or_default().server_removed(server);
-        self.servers.entry(zone).or_default().remove(&server);
+        self.usage_reports
+            .entry(zone)
+            .or_default()
+            .server_removed(server);
+        self.servers_up.entry(zone).or_default().remove(&server);
     }
 
-    /// Zones whose servers' reports this front needs now: it wants more than its part of their budgets, or holds more.
+    /// Zones whose servers' reports this front needs now: it has demand for more than its quota of a budget, or holds more
+    /// than an equal one.
+    #[must_use]
     pub fn zones_observed(&self, now: u64) -> BTreeSet<u8> {
-        let needs = |pool: &Pool| pool.part.has_demand(now) || pool.part.exceeds_equal_share();
+        let needs_reports = |pool: &BudgetPool| {
+            pool.quota_share.has_demand(now) || pool.quota_share.exceeds_equal_share()
+        };
         self.pools
             .iter()
-            .filter(|(_, pool)| needs(pool))
-            .map(|((zone, _), _)| *zone)
+            .filter(|(_, pool)| needs_reports(pool))
+            .map(|(key, _)| key.zone)
             .collect()
     }
 
-    /// Charges what flowed meanwhile, finds the parts anew and says what is to be lowered or restored; call it about once
-    /// a second. Danger: with the first expectation alone, sessions that end early give back at once while long ones
-    /// are charged only when they end, and for as long as that the fronts are over their budget together (by a
-    /// third, seen in a test).
+    /// Charges what flowed since the previous call, updates the quotas, and returns which sessions are to be capped or
+    /// uncapped; call it about once a second.
     pub fn tick(&mut self, now: u64) -> RateCapChanges {
-        // One pass without a search for each: this stands between players and their answers.
-        let mut own: BTreeMap<Key, f64> = BTreeMap::new();
-        for held in self.held.values_mut() {
-            flow(
-                held,
-                self.pools.get_mut(&held.key),
-                held.kb,
-                now,
-                self.length,
-            );
-            *own.entry(held.key).or_default() += held.kb;
-        }
-        let separate: BTreeSet<Key> = self.pools.keys().copied().collect();
-        for (key, pool) in &mut self.pools {
-            let rate = pool.budget.shared().rate_kb.max(1e-9);
-            let none = (UsageReports::default(), BTreeSet::new());
-            let reports = self.reports.get(&key.0).unwrap_or(&none.0);
-            let servers = self.servers.get(&key.0).unwrap_or(&none.1);
-            let under = |class: u8| match key.1 {
-                Some(only) => only == class,
-                None => !separate.contains(&(key.0, Some(class))),
-            };
-            let total = reports.total(now, servers.iter().copied(), under);
-            let own = own.get(key).copied().unwrap_or(0.0);
-            let part = pool
-                .part
-                .update(now, own / rate, total.map(|(at, kb)| (at, kb / rate)));
-            pool.budget.set_part(now, part);
-        }
-        let keys: Vec<Key> = self.pools.keys().copied().collect();
-        let mut orders = RateCapChanges::default();
-        for key in keys {
-            self.relieve(now, key, &mut orders);
-            self.restore(now, key, &mut orders);
-        }
-        orders
+        let rate_by_budget = self.charge_sessions(now);
+        self.update_quotas(now, &rate_by_budget);
+        self.update_rate_caps(now)
     }
 
-    fn level_of(&mut self, now: u64, key: Key) -> f64 {
-        self.pools
-            .get_mut(&key)
-            .map_or(0.0, |pool| pool.budget.level(now))
+    /// Charges each session for what it sent, and sums the rates, kB a second, by budget.
+    ///
+    /// Why not only at the end of a session: with the first expectation alone, sessions that end early give back at once
+    /// while long ones are charged only when they end, and for as long as that the fronts are over their budget together
+    /// (by a third, measured in a test).
+    fn charge_sessions(&mut self, now: u64) -> BTreeMap<BudgetKey, f64> {
+        let mut rate_by_budget: BTreeMap<BudgetKey, f64> = BTreeMap::new();
+        // One pass over all sessions: this runs between players' requests and their responses.
+        for session in self.sessions.values_mut() {
+            let pool = self.pools.get_mut(&session.budget);
+            session.continue_at(session.rate_kb, now, self.mean_session_length, pool);
+            *rate_by_budget.entry(session.budget).or_default() += session.rate_kb;
+        }
+        rate_by_budget
     }
 
-    /// Previews at their lowest, dearest first, until the debt is within the burst.
-    fn relieve(&mut self, now: u64, key: Key, orders: &mut RateCapChanges) {
-        let Some(pool) = self.pools.get_mut(&key) else {
-            return;
-        };
-        if pool.budget.level(now) <= RELIEVE || now < pool.relieved.saturating_add(RELIEF_PAUSE) {
-            return;
-        }
-        pool.relieved = now;
-        let mut there: Vec<(u64, f64)> = self
-            .held
-            .iter()
-            .filter(|(_, h)| h.key == key && !h.paid && h.kb > h.least_kb)
-            .map(|(session, h)| (*session, h.kb - h.least_kb))
-            .collect();
-        there.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
-        for (session, _) in there {
-            if self.level_of(now, key) <= SHORT {
-                return;
-            }
-            if let Some(held) = self.held.get_mut(&session) {
-                (held.lowered, held.full_kb) = (true, held.kb);
-                let least = held.least_kb;
-                self.rate(now, session, least);
-                orders.lower.push(session);
-            }
+    /// Updates this front's quota of each budget.
+    fn update_quotas(&mut self, now: u64, rate_by_budget: &BTreeMap<BudgetKey, f64>) {
+        for key in self.budget_keys() {
+            let all_fronts = self.usage_of_all_fronts(now, key);
+            let Some(pool) = self.pools.get_mut(&key) else {
+                continue;
+            };
+            let budget_rate_kb = pool.budget.shared().rate_kb.max(MIN_BUDGET_RATE_KB);
+            let own_rate_kb = rate_by_budget.get(&key).copied().unwrap_or(0.0);
+            let all_fronts = all_fronts.map(|observed| ObservedUsage {
+                at: observed.at,
+                usage: observed.usage / budget_rate_kb,
+            });
+            let own_usage = own_rate_kb / budget_rate_kb;
+            let quota = pool.quota_share.update(now, own_usage, all_fronts);
+            pool.budget.set_quota(now, quota);
         }
     }
 
-    /// The least costly of those that were lowered, one a look.
-    fn restore(&mut self, now: u64, key: Key, orders: &mut RateCapChanges) {
-        if self.level_of(now, key) > RESTORE {
-            return;
-        }
-        let lowered = self.held.iter().filter(|(_, h)| h.key == key && h.lowered);
-        let cheapest = lowered
-            .min_by(|a, b| a.1.full_kb.total_cmp(&b.1.full_kb))
-            .map(|(session, _)| *session);
-        if let Some(held) = cheapest.and_then(|session| self.held.get_mut(&session)) {
-            held.lowered = false;
-            orders.restore.extend(cheapest);
+    /// kB a second that crosses under a budget for all fronts; `None` where a server that is up has no recent report.
+    fn usage_of_all_fronts(&self, now: u64, key: BudgetKey) -> Option<ObservedUsage> {
+        let applies_to = |class: u8| self.budget_key(key.zone, class) == Some(key);
+        let servers = self
+            .servers_up
+            .get(&key.zone)
+            .into_iter()
+            .flatten()
+            .copied();
+        match self.usage_reports.get(&key.zone) {
+            Some(reports) => reports.total(now, servers, applies_to),
+            None => UsageReports::default().total(now, servers, applies_to),
         }
     }
 
-    /// How the budgets stand.
+    /// The state of each budget.
     pub fn budget_statuses(&mut self, now: u64) -> Vec<BudgetStatus> {
-        let keys: Vec<Key> = self.pools.keys().copied().collect();
-        keys.into_iter()
-            .filter_map(|key| self.standing(now, key))
+        self.budget_keys()
+            .into_iter()
+            .filter_map(|key| self.budget_status(now, key))
             .collect()
     }
 
-    fn standing(&mut self, now: u64, key: Key) -> Option<BudgetStatus> {
-        let level = self.level_of(now, key);
-        let there = || self.held.values().filter(move |h| h.key == key);
-        let kb = |paid: bool| {
-            there()
-                .filter(|h| h.paid == paid)
-                .map(|h| h.kb)
-                .sum::<f64>()
-                + 0.0
-        };
+    fn budget_status(&mut self, now: u64, key: BudgetKey) -> Option<BudgetStatus> {
+        let level = self.budget_level(now, key);
         let pool = self.pools.get(&key)?;
         Some(BudgetStatus {
             limit: CrossZoneLimit {
-                from: key.0,
-                class: key.1,
+                from: key.zone,
+                class: key.class,
                 shared: *pool.budget.shared(),
             },
-            part: pool.budget.part(),
+            quota: pool.budget.quota(),
             level,
-            crossing_kb: (kb(true), kb(false)),
+            paid_kb: self.crossing_rate_kb(key, true),
+            other_kb: self.crossing_rate_kb(key, false),
             overdrafts: pool.overdrafts.clone(),
             written_off: pool.budget.written_off(),
-            lowered: there().filter(|h| h.lowered).count(),
+            capped_sessions: self
+                .sessions_of(key)
+                .filter(|(_, session)| session.is_capped)
+                .count(),
         })
     }
 
-    /// Other budgets or another place from now on; what flows and what is owed stay. A zone without a budget any more
-    /// is free, and sessions that flow under another one from now on are counted there.
-    pub fn change(&mut self, limits: &[CrossZoneLimit], place: FrontPosition) {
-        let key = |l: &CrossZoneLimit| (l.from, l.class);
-        self.pools
-            .retain(|k, _| limits.iter().any(|l| key(l) == *k));
-        for limit in limits {
-            let pool = self
-                .pools
-                .entry(key(limit))
-                .or_insert_with(|| Pool::new(limit.shared, place));
-            pool.budget.change(limit.shared, place);
-            if pool.part.equal() != place.equal_part() {
-                pool.part = QuotaShare::new(place.equal_part());
-            }
-        }
+    /// kB a second that the paid, or the other, sessions under a budget send now.
+    fn crossing_rate_kb(&self, key: BudgetKey, is_paid: bool) -> f64 {
+        let rate_kb: f64 = self
+            .sessions_of(key)
+            .filter(|(_, session)| session.is_paid == is_paid)
+            .map(|(_, session)| session.rate_kb)
+            .sum();
+        rate_kb + 0.0 // The sum of nothing is -0.0, which reports must not show.
     }
 }
-
-/// A session flowed until now and goes on at a rate, for the mean length of sessions as far as is known.
-fn flow(held: &mut Held, pool: Option<&mut Pool>, kb: f64, now: u64, length: f64) {
-    held.sent += held.kb * 1000.0 * seconds(held.since, now);
-    (held.kb, held.since) = (kb, now.max(held.since));
-    let expected = held.sent + kb * 1000.0 * length;
-    if let Some(pool) = pool {
-        pool.correct(now, held, expected);
-    }
-    held.expected = expected;
-}
-
-fn seconds(from: u64, to: u64) -> f64 {
-    to.saturating_sub(from) as f64 / SECOND as f64
-}
--- a/crates/cross-zone-traffic/src/lib.rs
+++ b/crates/cross-zone-traffic/src/lib.rs
@@ -1,14 +1,14 @@
-//! Traffic between halls, without I/O: what crosses is counted, held to a budget, and paid service goes before it.
+//! Traffic between zones, without I/O: usage accounting, shared budgets, and admission with priority for paid classes.
 //!
-//! - [`usage_accounting`]: bytes by flow, from rungs in force, time, and reports of short delivery that come late;
-//! - [`windows`]: sums over seconds, minutes and hours in bounded memory;
-//! - [`budget`]: each front's part of a shared rate, by the generic cell rate algorithm (GCRA);
-//! - [`quota_share`]: which part that is, found from what servers report;
-//! - [`cross_zone_admission`]: what may start crossing, what is lowered, and in which order it comes back;
-//! - [`traffic_controller`]: a front's account and budgets, fed by the events of its sessions;
-//! - [`report`]: what is told and kept, and how reports of many fronts become one.
+//! - [`usage_accounting`]: bytes by flow, from the rungs in force, elapsed time, and delivery reports that arrive late;
+//! - [`windows`]: byte totals of recent seconds, minutes and hours in bounded memory;
+//! - [`budget`]: each front's quota of a shared rate, held by the generic cell rate algorithm (GCRA);
+//! - [`quota_share`]: how large that quota is, derived from what servers report;
+//! - [`cross_zone_admission`]: which sessions may cross, which are capped, and in which order caps are lifted;
+//! - [`traffic_controller`]: a front's usage account and budgets, driven by the events of its sessions;
+//! - [`report`]: the report that is published and saved, and how reports of many fronts are merged.
 //!
-//! Times are nanoseconds of a clock that is given; rates kB a second (1 kB is 1,000 bytes).
+//! Times are nanoseconds of a clock that the caller supplies; rates are kB a second (1 kB is 1,000 bytes).
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 pub mod budget;
@@ -19,4 +19,7 @@
 pub mod usage_accounting;
 pub mod windows;
 
+/// Nanoseconds in a second.
 pub(crate) const SECOND: u64 = 1_000_000_000;
+/// Bytes in a kB.
+pub(crate) const BYTES_PER_KB: f64 = 1000.0;
--- a/crates/cross-zone-traffic/src/quota_share.rs
+++ b/crates/cross-zone-traffic/src/quota_share.rs
@@ -1,158 +1,216 @@
-//! Which part of a shared budget a front may use, found from what servers report and never by talking.
+//! Which quota of a shared budget a front may use, derived from what servers report and never by communication of fronts.
 //!
-//! An equal part, the rate over the number of fronts, is always safe and always had; but with the load on few fronts it
-//! leaves nearly all of the budget unused. Fronts hear the same servers, and a server knows the zone of the front of each
-//! session: its reports say what crosses a pair of zones in all. From that each front moves its part:
+//! An equal quota, the rate over the number of fronts, is always safe and always available; but with the load on few
+//! fronts it leaves nearly all of the budget unused. All fronts receive reports of the same servers, and a server knows
+//! the zone of the front of each session: its reports state what crosses a pair of zones in all. From that each front
+//! moves its quota:
 //!
-//! - **up, slowly**, while it wants more and the reports show room: by `GROWTH` of the room, times its own weight
-//!   among all (its use, or its equal part where that is more, over all use and the budget). The weights of all fronts
-//!   are 1 in all at the most, so together they take no more than that share of the room in a step, and reports
+//! - **up, slowly**, while it has demand and the reports show headroom: by `GROWTH` of the headroom, times its own weight
+//!   among all (its use, or its equal quota where that is more, over all use and the budget). The weights of all fronts
+//!   add up to 1 at the most, so together they take no more than that share of the headroom in a step, and reports
 //!   that lag some steps do not let the sum pass the budget;
-//! - **down**: at once to its share of the budget when the reports show more than the budget, and to the equal part when
-//!   reports are missing or late; within some half a minute to what it uses when it wants no more.
+//! - **down**: at once to its share of the budget when the reports show more than the budget, and to the equal quota when
+//!   reports are missing or late; within some half a minute to what it uses when it has no further demand.
 //!
-//! Bound: beyond the budget goes only what fronts at rest start within their equal parts before the others have heard of
-//! it and given back: less than the budget once more, (N - 1) / N of it, for the reports' delay and the length of a
-//! session (previews that cross are lowered sooner). Without reports the sum is the budget.
+//! Bound: beyond the budget goes only what idle fronts start within their equal quotas before the others have received
+//! reports of it and given back: less than the budget once more, (N - 1) / N of it, for the reports' delay and the length
+//! of a session (previews that cross are capped sooner). Without reports the sum is the budget.
+use crate::SECOND;
 use std::collections::{BTreeMap, VecDeque};
 
-/// Of the room that reports show, so much is taken in a step (a second) by all fronts together. What crosses follows the
-/// parts by about the length of a session, so room seems to be there for that long after it was given away. Danger: at a
-/// quarter of the room a step the fronts swing around the budget and use 7 in 100 more than it on the mean.
+/// All fronts together take this share of the headroom that reports show in a step (a second). What crosses follows the
+/// quotas by about the length of a session, so headroom seems to be there for that long after it was given away.
+/// Why so little: at a quarter of the headroom a step the fronts oscillate around the budget and use 7 in 100 more than it
+/// on the mean.
 const GROWTH: f64 = 0.04;
-/// Room ends this much below the budget: chance lifts what crosses over it at times, and then all give back.
+/// Headroom ends this much below the budget: chance lifts what crosses over it at times, and then all fronts give back.
 const FULL: f64 = 0.99;
-/// A part is this much above its use at the most, or an equal one: what is not used must be there for others.
-const AHEAD: f64 = 1.5;
-/// A report older than this is no report, nanoseconds.
-pub const FRESH: u64 = 3_500_000_000;
-/// Time between looks, nanoseconds.
-const LOOK: u64 = 1_000_000_000;
-/// A front that was held back wants more for so long, nanoseconds.
-const WANTS: u64 = 10_000_000_000;
-/// Weight of a look in the mean use. Sessions start in heaps, whenever the debt is down again; a part that followed each
-/// heap and gap would fall back to an equal one again and again.
-const MEAN: f64 = 1.0 / 15.0;
-
-/// What servers of a zone report as crossing to one other, by class, all fronts together.
+/// A quota exceeds its use by this factor at the most, unless it is an equal one: what is unused must be left to others.
+const MAX_QUOTA_OVER_USAGE: f64 = 1.5;
+/// A quota this much above the equal one depends on reports; less is a rounding error.
+const EXCEEDS_EQUAL_QUOTA: f64 = 1.01;
+/// A report older than this is not used, nanoseconds.
+const REPORT_TTL: u64 = 7 * SECOND / 2;
+/// Time between updates, nanoseconds.
+const UPDATE_INTERVAL: u64 = SECOND;
+/// Demand lasts so long after a session was held back, nanoseconds.
+const DEMAND_DURATION: u64 = 10 * SECOND;
+/// Weight of an update in the mean usage. Why so small: sessions start in bursts, whenever the debt has drained; a quota
+/// that followed each burst and gap would fall back to an equal one again and again.
+const MEAN_USAGE_WEIGHT: f64 = 1.0 / 15.0;
+
+/// Usage that was observed at a time; of a rate or of a budget, as the context states.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ObservedUsage {
+    /// The time, nanoseconds.
+    pub at: u64,
+    /// The usage: kB a second, or a fraction of the budget's rate.
+    pub usage: f64,
+}
+
+#[derive(Clone, Debug)]
+struct ServerReport {
+    at: u64,
+    rate_kb_by_class: BTreeMap<u8, f64>,
+}
+
+/// What servers of a zone report as crossing to one other zone, by class, all fronts together.
 #[derive(Clone, Debug, Default)]
 pub struct UsageReports {
-    heard: BTreeMap<u32, (u64, BTreeMap<u8, f64>)>, // When, and kB a second by class.
+    latest: BTreeMap<u32, ServerReport>,
 }
 
 impl UsageReports {
-    /// A server reports what it sends across, kB a second by class. A report older than one that was heard is nothing.
-    pub fn record(&mut self, server: u32, at: u64, kb: BTreeMap<u8, f64>) {
-        let known = self.heard.entry(server).or_insert((at, BTreeMap::new()));
-        if at >= known.0 {
-            *known = (at, kb);
+    /// A server reports what it sends across, kB a second by class. A report older than the latest one is ignored.
+    pub fn record(&mut self, server: u32, at: u64, rate_kb_by_class: BTreeMap<u8, f64>) {
+        let is_outdated = self.latest.get(&server).is_some_and(|known| at < known.at);
+        if !is_outdated {
+            let report = ServerReport {
+                at,
+                rate_kb_by_class,
+            };
+            self.latest.insert(server, report);
         }
     }
 
-    /// A server is gone, and nothing crosses from it.
+    /// A server was removed, and nothing crosses from it.
     pub fn server_removed(&mut self, server: u32) {
-        self.heard.remove(&server);
+        self.latest.remove(&server);
     }
 
-    /// kB a second of the classes that `of` takes, from all `servers`, and the time of the oldest report; `None` where
-    /// one has not reported of late.
+    /// kB a second of the accepted classes from all `servers`, and the time of the oldest report; `None` where one of
+    /// them has no recent report.
+    #[must_use]
     pub fn total(
         &self,
         now: u64,
         servers: impl Iterator<Item = u32>,
-        of: impl Fn(u8) -> bool,
-    ) -> Option<(u64, f64)> {
-        let (mut oldest, mut sum) = (now, 0.0);
+        accepts: impl Fn(u8) -> bool,
+    ) -> Option<ObservedUsage> {
+        let mut oldest = now;
+        let mut rate_kb = 0.0;
         for server in servers {
-            let (at, kb) = self.heard.get(&server)?;
-            if now.saturating_sub(*at) > FRESH {
+            let report = self.latest.get(&server)?;
+            if now.saturating_sub(report.at) > REPORT_TTL {
                 return None;
             }
-            oldest = oldest.min(*at);
-            sum += kb
+            oldest = oldest.min(report.at);
+            rate_kb += report
+                .rate_kb_by_class
                 .iter()
-                .filter(|(class, _)| of(**class))
-                .map(|(_, kb)| kb)
+                .filter(|(class, _)| accepts(**class))
+                .map(|(_, rate_kb)| rate_kb)
                 .sum::<f64>();
         }
-        Some((oldest, sum))
+        Some(ObservedUsage {
+            at: oldest,
+            usage: rate_kb,
+        })
     }
 }
 
-/// A front's part of one budget.
+/// A front's quota of one budget. Usage and quota are fractions of the budget's rate.
 #[derive(Clone, Debug)]
 pub struct QuotaShare {
-    equal: f64,
-    part: f64,
-    mean: f64,                 // Of the use.
-    own: VecDeque<(u64, f64)>, // Use at late looks.
-    wanted: Option<u64>,
+    equal_quota: f64,
+    quota: f64,
+    mean_usage: f64,
+    /// This front's usage at recent updates, oldest first.
+    recent_usage: VecDeque<ObservedUsage>,
+    last_demand: Option<u64>,
 }
 
 impl QuotaShare {
-    /// An equal part.
-    pub fn new(equal: f64) -> QuotaShare {
+    /// An equal quota.
+    #[must_use]
+    pub fn new(equal_quota: f64) -> QuotaShare {
         QuotaShare {
-            equal,
-            part: equal,
-            mean: 0.0,
-            own: VecDeque::new(),
-            wanted: None,
+            equal_quota,
+            quota: equal_quota,
+            mean_usage: 0.0,
+            recent_usage: VecDeque::new(),
+            last_demand: None,
         }
     }
 
-    /// The equal part.
-    pub fn equal(&self) -> f64 {
-        self.equal
+    /// The equal quota.
+    #[must_use]
+    pub fn equal_quota(&self) -> f64 {
+        self.equal_quota
     }
 
     /// A session was held back, or would have been.
     pub fn request_more(&mut self, now: u64) {
-        self.wanted = Some(now);
+        self.last_demand = Some(now);
     }
 
-    /// Whether more was wanted of late; then reports of all servers are worth hearing.
+    /// Whether more was requested recently; then reports of all servers are worth receiving.
+    #[must_use]
     pub fn has_demand(&self, now: u64) -> bool {
-        self.wanted
-            .is_some_and(|at| now.saturating_sub(at) <= WANTS)
+        self.last_demand
+            .is_some_and(|at| now.saturating_sub(at) <= DEMAND_DURATION)
     }
 
-    /// Whether more than an equal part is held, which only reports allow.
+    /// Whether the quota exceeds an equal one, which only reports allow.
+    #[must_use]
     pub fn exceeds_equal_share(&self) -> bool {
-        self.part > self.equal * 1.01
+        self.quota > self.equal_quota * EXCEEDS_EQUAL_QUOTA
     }
 
-    /// Looks anew, about once a second: `own` use now, and all use at an earlier time where every server reported; both
-    /// over the budget's rate.
-    pub fn update(&mut self, now: u64, own: f64, all: Option<(u64, f64)>) -> f64 {
-        self.mean += MEAN * (own - self.mean);
-        self.own.push_back((now, own));
-        self.own
-            .retain(|(at, _)| now.saturating_sub(*at) <= 2 * FRESH);
-        let Some((at, all)) = all else {
-            self.part = self.equal;
-            return self.part;
+    /// Updates the quota, about once a second: `own_usage` of this front now, and the usage of all fronts at an earlier
+    /// time where every server reported. Returns the quota, 0 to 1.
+    pub fn update(&mut self, now: u64, own_usage: f64, all_fronts: Option<ObservedUsage>) -> f64 {
+        self.record_own_usage(now, own_usage);
+        let Some(all_fronts) = all_fronts else {
+            self.quota = self.equal_quota;
+            return self.quota;
         };
-        // Danger: our use of now held against all of some seconds ago is a share of nothing: a front whose sessions were
-        // just lowered took itself for a small one and gave back what it alone had used.
-        // Looks and reports are out of step by up to a second, and the larger use in that time is taken for it.
-        let near = self
-            .own
-            .iter()
-            .filter(|(t, _)| t.abs_diff(at) <= LOOK)
-            .map(|(_, own)| *own);
-        let then = near.reduce(f64::max).unwrap_or(own).max(self.mean);
-        if all > 1.0 {
-            self.part = self.part.min(then.min(all) / all);
+        if all_fronts.usage > 1.0 {
+            let own_usage_then = self.own_usage_near(all_fronts.at).unwrap_or(own_usage);
+            self.reduce_to_proportion(own_usage_then, all_fronts.usage);
         } else if self.has_demand(now) {
-            let weight = own.max(self.equal) / (1.0 + all);
-            let most = (own.max(self.mean) * AHEAD).max(self.equal);
-            self.part = (self.part + GROWTH * (FULL - all).max(0.0) * weight).min(most);
+            self.grow(own_usage, all_fronts.usage);
         } else {
-            self.part = self.part.min(own.max(self.mean));
+            self.quota = self.quota.min(own_usage.max(self.mean_usage));
         }
-        self.part = self.part.clamp(self.equal, 1.0);
-        self.part
+        self.quota = self.quota.clamp(self.equal_quota, 1.0);
+        self.quota
+    }
+
+    fn record_own_usage(&mut self, now: u64, usage: f64) {
+        self.mean_usage += MEAN_USAGE_WEIGHT * (usage - self.mean_usage);
+        self.recent_usage
+            .push_back(ObservedUsage { at: now, usage });
+        self.recent_usage
+            .retain(|observed| now.saturating_sub(observed.at) <= 2 * REPORT_TTL);
+    }
+
+    /// This front's usage at the time that a report describes; `None` where no update was near that time.
+    ///
+    /// Why not the usage now: compared with the total of some seconds ago it gives no meaningful share. A front whose
+    /// sessions were just capped took itself for a small one and gave back what it alone had used. Updates and reports are
+    /// out of step by up to a second; the larger usage in that time is taken.
+    fn own_usage_near(&self, at: u64) -> Option<f64> {
+        self.recent_usage
+            .iter()
+            .filter(|observed| observed.at.abs_diff(at) <= UPDATE_INTERVAL)
+            .map(|observed| observed.usage)
+            .reduce(f64::max)
+    }
+
+    /// Reduces the quota to this front's proportion of the usage of all fronts.
+    fn reduce_to_proportion(&mut self, own_usage: f64, total_usage: f64) {
+        let own_usage = own_usage.max(self.mean_usage);
+        self.quota = self.quota.min(own_usage.min(total_usage) / total_usage);
+    }
+
+    /// Grows the quota by this front's weight of the headroom.
+    fn grow(&mut self, own_usage: f64, total_usage: f64) {
+        let weight = own_usage.max(self.equal_quota) / (1.0 + total_usage);
+        let max_quota =
+            (own_usage.max(self.mean_usage) * MAX_QUOTA_OVER_USAGE).max(self.equal_quota);
+        let headroom = (FULL - total_usage).max(0.0);
+        self.quota = (self.quota + GROWTH * headroom * weight).min(max_quota);
     }
 }
 
--- a/crates/cross-zone-traffic/src/quota_share/tests.rs
+++ b/crates/cross-zone-traffic/src/quota_share/tests.rs
@@ -1,48 +1,55 @@
 use super::*;
-const SECOND: u64 = 1_000_000_000;
+
+fn observed(at: u64, usage: f64) -> Option<ObservedUsage> {
+    Some(ObservedUsage { at, usage })
+}
 
 #[test]
-fn a_part_grows_only_while_wanted_and_with_reports_and_falls_at_once() {
-    let mut p = QuotaShare::new(0.1);
+fn a_quota_grows_only_with_demand_and_reports_and_falls_at_once() {
+    let mut share = QuotaShare::new(0.1);
     assert_eq!(
-        p.update(SECOND, 0.1, Some((SECOND, 0.1))),
+        share.update(SECOND, 0.1, observed(SECOND, 0.1)),
         0.1,
-        "nothing more is wanted"
+        "there is no demand"
     );
-    p.request_more(SECOND);
-    let first = p.update(SECOND, 0.1, Some((SECOND, 0.1)));
+    share.request_more(SECOND);
+    let first = share.update(SECOND, 0.1, observed(SECOND, 0.1));
     assert!(first > 0.1 && first < 0.11, "{first}");
     assert_eq!(
-        p.update(2 * SECOND, first, None),
+        share.update(2 * SECOND, first, None),
         0.1,
-        "without reports an equal part"
+        "without reports an equal quota"
     );
     for step in 2..600 {
-        p.request_more(step * SECOND);
-        let own = p.part;
-        p.update(step * SECOND, own, Some((step * SECOND, own)));
+        share.request_more(step * SECOND);
+        let own = share.quota;
+        share.update(step * SECOND, own, observed(step * SECOND, own));
     }
-    assert!(p.part > 0.9 && p.exceeds_equal_share(), "{}", p.part);
-    let share = p.update(600 * SECOND, 0.9, Some((600 * SECOND, 1.2)));
     assert!(
-        (0.7..0.85).contains(&share),
-        "its share of what is over: {share}"
+        share.quota > 0.9 && share.exceeds_equal_share(),
+        "{}",
+        share.quota
+    );
+    let reduced = share.update(600 * SECOND, 0.9, observed(600 * SECOND, 1.2));
+    assert!(
+        (0.7..0.85).contains(&reduced),
+        "its share of what is over: {reduced}"
     );
     let given_back: Vec<f64> = (690..790)
-        .map(|s| p.update(s * SECOND, 0.3, Some((s * SECOND, 0.3))))
+        .map(|s| share.update(s * SECOND, 0.3, observed(s * SECOND, 0.3)))
         .collect();
     assert!(
         given_back.windows(2).all(|w| w[1] <= w[0]) && given_back[60] < 0.32,
         "{given_back:?}"
     );
     let last = (790..900)
-        .map(|s| p.update(s * SECOND, 0.0, Some((s * SECOND, 0.0))))
+        .map(|s| share.update(s * SECOND, 0.0, observed(s * SECOND, 0.0)))
         .last();
     assert_eq!(last, Some(0.1));
 }
 
 #[test]
-fn all_fronts_together_take_no_more_than_a_share_of_the_room_in_a_step() {
+fn all_fronts_together_take_no_more_than_a_share_of_the_headroom_in_a_step() {
     for (fronts, uses) in [
         (3, vec![0.4, 0.2, 0.0]),
         (40, vec![0.02; 40]),
@@ -53,9 +60,9 @@
         let grown: f64 = uses
             .iter()
             .map(|own| {
-                let mut p = QuotaShare::new(equal);
-                p.request_more(SECOND);
-                p.update(SECOND, *own, Some((SECOND, all))) - equal
+                let mut share = QuotaShare::new(equal);
+                share.request_more(SECOND);
+                share.update(SECOND, *own, observed(SECOND, all)) - equal
             })
             .sum();
         assert!(
@@ -66,29 +73,32 @@
 }
 
 #[test]
-fn reports_count_only_when_every_server_was_heard_of_late() {
-    let mut r = UsageReports::default();
+fn reports_count_only_when_every_server_reported_recently() {
+    let mut reports = UsageReports::default();
     let kb = |kb: f64| BTreeMap::from([(0u8, kb), (1, 10.0 * kb)]);
-    r.record(1, 10 * SECOND, kb(5.0));
-    assert_eq!(r.total(11 * SECOND, [1, 2].into_iter(), |_| true), None);
-    r.record(2, 11 * SECOND, kb(1.0));
+    reports.record(1, 10 * SECOND, kb(5.0));
+    assert_eq!(
+        reports.total(11 * SECOND, [1, 2].into_iter(), |_| true),
+        None
+    );
+    reports.record(2, 11 * SECOND, kb(1.0));
     assert_eq!(
-        r.total(11 * SECOND, [1, 2].into_iter(), |c| c == 0),
-        Some((10 * SECOND, 6.0))
+        reports.total(11 * SECOND, [1, 2].into_iter(), |c| c == 0),
+        observed(10 * SECOND, 6.0)
     );
-    r.record(1, 9 * SECOND, kb(100.0)); // Overtaken on its way.
+    reports.record(1, 9 * SECOND, kb(100.0)); // Overtaken on its way.
     assert_eq!(
-        r.total(11 * SECOND, [1, 2].into_iter(), |_| true),
-        Some((10 * SECOND, 66.0))
+        reports.total(11 * SECOND, [1, 2].into_iter(), |_| true),
+        observed(10 * SECOND, 66.0)
     );
     assert_eq!(
-        r.total(14 * SECOND, [1, 2].into_iter(), |_| true),
+        reports.total(14 * SECOND, [1, 2].into_iter(), |_| true),
         None,
         "too old"
     );
-    r.server_removed(1);
+    reports.server_removed(1);
     assert_eq!(
-        r.total(14 * SECOND, [2].into_iter(), |_| true),
-        Some((11 * SECOND, 11.0))
+        reports.total(14 * SECOND, [2].into_iter(), |_| true),
+        observed(11 * SECOND, 11.0)
     );
 }
--- /dev/null
+++ b/crates/cross-zone-traffic/src/report/merge.rs
@@ -0,0 +1,139 @@
+//! Merges the reports of many fronts into one.
+use super::types::{BudgetReport, ByteTotals, FlowReport, TrafficReport};
+use std::collections::btree_map::{BTreeMap, Entry};
+
+/// The names of a flow, in the order that merged flows are listed in.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct FlowNames {
+    from: String,
+    to: String,
+    class: String,
+    tenant: String,
+    group: String,
+    purpose: String,
+}
+
+impl From<&FlowReport> for FlowNames {
+    fn from(flow: &FlowReport) -> FlowNames {
+        FlowNames {
+            from: flow.from.clone(),
+            to: flow.to.clone(),
+            class: flow.class.clone(),
+            tenant: flow.tenant.clone(),
+            group: flow.group.clone(),
+            purpose: flow.purpose.clone(),
+        }
+    }
+}
+
+/// The names of a budget, in the order that merged budgets are listed in.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct BudgetNames {
+    from: String,
+    to: String,
+    class: String,
+}
+
+impl From<&BudgetReport> for BudgetNames {
+    fn from(budget: &BudgetReport) -> BudgetNames {
+        BudgetNames {
+            from: budget.from.clone(),
+            to: budget.to.clone(),
+            class: budget.class.clone(),
+        }
+    }
+}
+
+/// Merges reports of many fronts into one. Of a front with several reports, such as its own and its saved one, only the
+/// latest counts.
+#[must_use]
+pub fn merge(reports: impl IntoIterator<Item = TrafficReport>) -> TrafficReport {
+    let mut flows: BTreeMap<FlowNames, FlowReport> = BTreeMap::new();
+    let mut budgets: BTreeMap<BudgetNames, BudgetReport> = BTreeMap::new();
+    let mut merged = TrafficReport::default();
+    for report in latest_by_front(reports).into_values() {
+        merged.at_ms = merged.at_ms.max(report.at_ms);
+        merged.unsettled_sessions += report.unsettled_sessions;
+        merged.dropped_late_reports += report.dropped_late_reports;
+        for flow in report.flows {
+            merge_flow(&mut flows, flow);
+        }
+        for budget in report.budgets {
+            merge_budget(&mut budgets, budget);
+        }
+    }
+    merged.flows = flows.into_values().collect();
+    merged.budgets = budgets.into_values().collect();
+    merged
+}
+
+/// The latest report of each front; of equally late ones the first.
+fn latest_by_front(
+    reports: impl IntoIterator<Item = TrafficReport>,
+) -> BTreeMap<u32, TrafficReport> {
+    let mut latest: BTreeMap<u32, TrafficReport> = BTreeMap::new();
+    for report in reports {
+        let is_newer = latest
+            .get(&report.front)
+            .is_none_or(|known| report.at_ms > known.at_ms);
+        if is_newer {
+            latest.insert(report.front, report);
+        }
+    }
+    latest
+}
+
+fn merge_flow(flows: &mut BTreeMap<FlowNames, FlowReport>, flow: FlowReport) {
+    match flows.entry(FlowNames::from(&flow)) {
+        Entry::Vacant(vacant) => {
+            vacant.insert(flow);
+        }
+        Entry::Occupied(occupied) => occupied.into_mut().add(&flow),
+    }
+}
+
+fn merge_budget(budgets: &mut BTreeMap<BudgetNames, BudgetReport>, budget: BudgetReport) {
+    match budgets.entry(BudgetNames::from(&budget)) {
+        Entry::Vacant(vacant) => {
+            vacant.insert(budget);
+        }
+        Entry::Occupied(occupied) => occupied.into_mut().add(&budget),
+    }
+}
+
+impl FlowReport {
+    fn add(&mut self, other: &FlowReport) {
+        self.bytes = self.bytes.saturating_add(other.bytes);
+        self.measured_bytes = self.measured_bytes.saturating_add(other.measured_bytes);
+        self.corrected_bytes = self.corrected_bytes.saturating_add(other.corrected_bytes);
+        self.estimated_bytes = self.estimated_bytes.saturating_add(other.estimated_bytes);
+        self.overstated_bytes = self.overstated_bytes.saturating_add(other.overstated_bytes);
+        self.minutes = merge_spans(&self.minutes, &other.minutes);
+        self.hours = merge_spans(&self.hours, &other.hours);
+    }
+}
+
+impl BudgetReport {
+    fn add(&mut self, other: &BudgetReport) {
+        self.quota += other.quota;
+        self.level = self.level.into_iter().chain(other.level).reduce(f64::max);
+        self.paid_kb += other.paid_kb;
+        self.other_kb += other.other_kb;
+        self.overdraft_hall_lost_bytes += other.overdraft_hall_lost_bytes;
+        self.overdraft_hall_full_bytes += other.overdraft_hall_full_bytes;
+        self.written_off_bytes += other.written_off_bytes;
+        self.capped_sessions += other.capped_sessions;
+    }
+}
+
+fn merge_spans(left: &[ByteTotals], right: &[ByteTotals]) -> Vec<ByteTotals> {
+    let mut bytes_by_start: BTreeMap<u64, u64> = BTreeMap::new();
+    for span in left.iter().chain(right) {
+        let bytes = bytes_by_start.entry(span.at_ms).or_default();
+        *bytes = bytes.saturating_add(span.bytes);
+    }
+    bytes_by_start
+        .into_iter()
+        .map(|(at_ms, bytes)| ByteTotals { at_ms, bytes })
+        .collect()
+}
--- /dev/null
+++ b/crates/cross-zone-traffic/src/report/names.rs
@@ -0,0 +1,96 @@
+//! Names of zones, classes, tenants and title groups, and of the purposes of flows in reports.
+use crate::usage_accounting::{Flow, Purpose, OTHER_FLOWS};
+
+/// The name of zones, classes, tenants and groups of [`OTHER_FLOWS`], and of numbers without a name.
+const OTHER: &str = "other";
+
+/// Names by number.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TrafficNames {
+    /// Names of zones.
+    pub zones: Vec<String>,
+    /// Names of classes.
+    pub classes: Vec<String>,
+    /// Names of tenants; none: all sessions belong to one owner.
+    pub tenants: Vec<String>,
+    /// Names of title groups; the first is that of titles without one.
+    pub groups: Vec<String>,
+}
+
+impl TrafficNames {
+    pub(super) fn zone(&self, zone: u8) -> String {
+        name_of(&self.zones, zone.into())
+    }
+
+    pub(super) fn class(&self, class: u8) -> String {
+        name_of(&self.classes, class.into())
+    }
+
+    /// The tenant of a flow; empty where there are no tenants.
+    pub(super) fn tenant(&self, flow: &Flow) -> String {
+        if self.tenants.is_empty() && *flow != OTHER_FLOWS {
+            return String::new();
+        }
+        name_of(&self.tenants, flow.tenant.into())
+    }
+
+    /// The title group; empty for titles without one.
+    pub(super) fn group(&self, group: u16) -> String {
+        if group == 0 {
+            return String::new();
+        }
+        name_of(&self.groups, group.into())
+    }
+
+    pub(super) fn zone_number(&self, name: &str) -> Option<u8> {
+        u8::try_from(number_of(&self.zones, name)?).ok()
+    }
+
+    pub(super) fn class_number(&self, name: &str) -> Option<u8> {
+        u8::try_from(number_of(&self.classes, name)?).ok()
+    }
+
+    pub(super) fn tenant_number(&self, name: &str) -> Option<u16> {
+        if name.is_empty() {
+            return Some(0);
+        }
+        u16::try_from(number_of(&self.tenants, name)?).ok()
+    }
+
+    pub(super) fn group_number(&self, name: &str) -> Option<u16> {
+        if name.is_empty() {
+            return Some(0);
+        }
+        u16::try_from(number_of(&self.groups, name)?).ok()
+    }
+}
+
+fn name_of(names: &[String], number: usize) -> String {
+    names
+        .get(number)
+        .cloned()
+        .unwrap_or_else(|| OTHER.to_owned())
+}
+
+fn number_of(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|known| known == name)
+}
+
+/// The published name of a purpose.
+pub(super) fn purpose_name(purpose: Purpose) -> &'static str {
+    match purpose {
+        Purpose::FirstAttempt => "playing",
+        Purpose::Retry => "again",
+        Purpose::FailedAttempt => "nothing",
+    }
+}
+
+pub(super) fn purpose_of(name: &str) -> Option<Purpose> {
+    [
+        Purpose::FirstAttempt,
+        Purpose::Retry,
+        Purpose::FailedAttempt,
+    ]
+    .into_iter()
+    .find(|purpose| purpose_name(*purpose) == name)
+}
--- a/crates/cross-zone-traffic/src/traffic_controller/mod.rs
+++ b/crates/cross-zone-traffic/src/traffic_controller/mod.rs
@@ -1,369 +1,308 @@
-//! What a front keeps of its traffic between halls: the account, the budgets, and how events of sessions feed both.
+//! A front's traffic controller: the usage account and the budgets, and how events of sessions drive both.
 //!
-//! Events in, changes and orders out; times are given. The placement module is told what [`TrafficController::policy_changes`] says before a
-//! request is placed, and what [`TrafficController::tick`] orders.
-use crate::budget::FrontPosition;
+//! Events in, changes out; the caller supplies the time. Before a request is placed, the placement module is notified of
+//! the [`TrafficController::policy_changes`] and of the rate caps that [`TrafficController::tick`] returns.
+mod attempts;
+mod config;
+mod server_zones;
+
+pub use attempts::AttemptUsage;
+pub use config::{TrafficClass, TrafficConfig};
+
 use crate::cross_zone_admission::{
-    BudgetStatus, CapReason, CrossZoneAdmission, CrossZoneLimit, CrossZonePolicy, RateCapChanges,
-    SessionStart,
+    BudgetStatus, CapReason, CrossZoneAdmission, PolicyChange, RateCapChanges, SessionStart,
 };
-use crate::usage_accounting::{Flow, Purpose, SavedFlow, UsageAccount, UsageConfig as Keeping};
+use crate::usage_accounting::{Flow, Purpose, SavedFlow, UsageAccount, UsageConfig};
 use crate::SECOND;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-
-/// A count or report is waited for so many times its usual delay, and this much more.
-const PATIENCE: (u64, u64) = (3, 2 * SECOND);
-/// Reports of short delivery come once a second; one that is missing is bridged.
-const HOLD: u64 = 2 * SECOND + SECOND / 2;
-/// Flows kept apart at most.
-const FLOWS: usize = 1024;
-/// Mean length of sessions believed at first, seconds.
-const LENGTH: f64 = 30.0;
-/// The last word on an attempt that came to nothing is waited for so long.
-const LAST_WORD: u64 = 30 * SECOND;
-
-/// A class as far as traffic is concerned.
-#[derive(Clone, Debug, PartialEq)]
-pub struct TrafficClass {
-    /// Whether it goes before the budget.
-    pub paid: bool,
-    /// Its rate at each rung, kB a second.
-    pub kb: Vec<f64>,
-}
-
-/// What holds for a front.
-#[derive(Clone, Debug, PartialEq)]
-pub struct TrafficConfig {
-    /// Which front it is.
-    pub place: FrontPosition,
-    /// Its zone, which is that of its viewers.
-    pub zone: u8,
-    /// Classes by number.
-    pub classes: Vec<TrafficClass>,
-    /// Budgets for what goes from other zones to its own.
-    pub limits: Vec<CrossZoneLimit>,
-    /// How late notes and reports are, nanoseconds.
-    pub note_delay: u64,
-}
-
-/// An attempt to set a session up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct AttemptUsage {
-    /// The attempt, never used twice.
-    pub id: u64,
-    /// Its number within its request, from 0.
-    pub number: u8,
-    /// Its server.
-    pub server: u32,
-    /// Class.
-    pub class: u8,
-    /// Tenant.
-    pub tenant: u16,
-    /// Group of titles.
-    pub group: u16,
-    /// Rung that it starts at.
-    pub rung: u8,
-}
-
-/// A front's account and budgets.
+use attempts::{ActiveAttempt, Attempts};
+use server_zones::ServerZones;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A count or report is waited for so many times its usual delay ...
+const SETTLE_DELAY_FACTOR: u64 = 3;
+/// ... and this much longer, nanoseconds.
+const SETTLE_DELAY_MARGIN: u64 = 2 * SECOND;
+/// Delivery reports arrive once a second, nanoseconds; a missing one is bridged.
+const DELIVERY_REPORT_TTL: u64 = 2 * SECOND + SECOND / 2;
+/// Flows with totals of their own at most.
+const MAX_FLOWS: usize = 1024;
+/// The mean session length that is assumed at first, seconds.
+const INITIAL_SESSION_LENGTH: f64 = 30.0;
+/// The lowest rung.
+const LOWEST_RUNG: u8 = 0;
+
+/// A front's usage account and budgets.
 #[derive(Clone, Debug)]
 pub struct TrafficController {
-    terms: TrafficConfig,
+    config: TrafficConfig,
     account: UsageAccount,
-    crossing: CrossZoneAdmission,
-    zones: HashMap<u32, u8>,                       // Of servers.
-    up: BTreeMap<u8, BTreeSet<u32>>,               // By zone.
-    heard: HashMap<u32, u64>,                      // When a server last said anything.
-    out: HashMap<u64, (AttemptUsage, Flow, bool)>, // Attempts under way, and whether they play.
-    loose: BTreeMap<u64, (Flow, u64)>,             // Attempts that came to nothing, and when.
+    admission: CrossZoneAdmission,
+    servers: ServerZones,
+    attempts: Attempts,
 }
 
 impl TrafficController {
-    /// Nothing counted yet.
-    pub fn new(terms: TrafficConfig) -> TrafficController {
-        let settle = PATIENCE.0 * terms.note_delay + PATIENCE.1;
-        let paid = terms.classes.iter().map(|c| c.paid).collect();
+    /// A controller that has counted nothing yet.
+    #[must_use]
+    pub fn new(config: TrafficConfig) -> TrafficController {
+        let usage_config = UsageConfig {
+            settle_delay: SETTLE_DELAY_FACTOR * config.report_delay + SETTLE_DELAY_MARGIN,
+            delivery_report_ttl: DELIVERY_REPORT_TTL,
+            max_flows: MAX_FLOWS,
+        };
+        let paid_classes = config.classes.iter().map(|class| class.paid).collect();
         TrafficController {
-            account: UsageAccount::new(Keeping {
-                settle,
-                hold: HOLD,
-                flows: FLOWS,
-            }),
-            crossing: CrossZoneAdmission::new(paid, &terms.limits, terms.place, LENGTH),
-            zones: HashMap::new(),
-            up: BTreeMap::new(),
-            heard: HashMap::new(),
-            out: HashMap::new(),
-            loose: BTreeMap::new(),
-            terms,
+            account: UsageAccount::new(usage_config),
+            admission: CrossZoneAdmission::new(
+                paid_classes,
+                &config.limits,
+                config.position,
+                INITIAL_SESSION_LENGTH,
+            ),
+            servers: ServerZones::default(),
+            attempts: Attempts::default(),
+            config,
         }
     }
 
-    fn kb(&self, class: u8, rung: u8) -> f64 {
-        let rates = self.terms.classes.get(usize::from(class)).map(|c| &c.kb);
-        rates
-            .and_then(|kb| kb.get(usize::from(rung)))
-            .copied()
-            .unwrap_or(0.0)
+    /// Changes the configuration; what was counted, flows and is owed stays. Classes keep their numbers.
+    pub fn reconfigure(&mut self, config: TrafficConfig) {
+        self.admission.reconfigure(&config.limits, config.position);
+        self.config = config;
     }
 
-    // ---- servers ----
+    /// The time that a report received now describes, nanoseconds.
+    fn described_time(&self, now: u64) -> u64 {
+        now.saturating_sub(self.config.report_delay)
+    }
+}
 
-    /// A server is listed in a zone; whether it takes or ends work there.
+/// Events of servers.
+impl TrafficController {
+    /// A server is listed in a zone; `up`: whether it accepts or finishes work there.
     pub fn endpoint_listed(&mut self, server: u32, zone: u8, up: bool) {
-        if let Some(before) = self
-            .zones
-            .insert(server, zone)
-            .filter(|before| *before != zone)
-        {
-            self.up.entry(before).or_default().remove(&server);
-            self.tell_up(before);
+        if let Some(previous) = self.servers.assign(server, zone) {
+            self.servers.set_up(server, previous, false);
+            self.update_admission_servers(previous);
         }
-        let there = self.up.entry(zone).or_default();
-        let changed = if up {
-            there.insert(server)
-        } else {
-            there.remove(&server)
-        };
-        if changed {
-            self.tell_up(zone);
+        if self.servers.set_up(server, zone, up) {
+            self.update_admission_servers(zone);
         }
         if !up {
-            self.crossing.server_lost(zone, server);
+            self.admission.server_lost(zone, server);
         }
     }
 
-    /// The whole list: what is not in it is no more.
+    /// The complete list of servers: those that are not in it are not up.
     pub fn retain_endpoints(&mut self, servers: &BTreeSet<u32>) {
-        let gone: Vec<(u32, u8)> = self
-            .zones
-            .iter()
-            .filter(|(id, _)| !servers.contains(*id))
-            .map(|(id, zone)| (*id, *zone))
-            .collect();
-        gone.into_iter()
-            .for_each(|(id, zone)| self.endpoint_listed(id, zone, false));
+        for server in self.servers.not_in(servers) {
+            if let Some(zone) = self.servers.zone(server) {
+                self.endpoint_listed(server, zone, false);
+            }
+        }
     }
 
-    fn tell_up(&mut self, zone: u8) {
-        self.crossing
-            .update_servers(zone, self.up.get(&zone).cloned().unwrap_or_default());
+    fn update_admission_servers(&mut self, zone: u8) {
+        let servers = self.servers.servers_up(zone);
+        self.admission.update_servers(zone, servers);
     }
 
     /// The zone that a server is listed in.
+    #[must_use]
     pub fn zone(&self, server: u32) -> Option<u8> {
-        self.zones.get(&server).copied()
+        self.servers.zone(server)
     }
 
-    /// A server lived until now, whether or not it does any more.
+    /// A server was alive until now, whether or not it still is.
     pub fn server_alive(&mut self, server: u32, now: u64) {
-        self.heard.insert(server, now);
+        self.servers.record_received(server, now);
     }
 
-    /// A server said something.
+    /// A message of a server was received, so it is up.
     pub fn server_connected(&mut self, server: u32, now: u64) {
         self.server_alive(server, now);
-        let zone = self.zones.get(&server).copied();
-        if let Some(zone) = zone.filter(|zone| self.up.entry(*zone).or_default().insert(server)) {
-            self.tell_up(zone);
+        let Some(zone) = self.servers.zone(server) else {
+            return;
+        };
+        if self.servers.set_up(server, zone, true) {
+            self.update_admission_servers(zone);
         }
     }
 
-    /// A server can't be reached: until it is heard again nothing crosses from it.
+    /// A server can't be reached: until something is received from it again nothing crosses from it.
     pub fn server_lost(&mut self, server: u32) {
-        if let Some(zone) = self.zones.get(&server).copied() {
-            self.up.entry(zone).or_default().remove(&server);
-            self.crossing.server_lost(zone, server);
+        if let Some(zone) = self.servers.zone(server) {
+            self.servers.set_up(server, zone, false);
+            self.admission.server_lost(zone, server);
         }
     }
 
     /// A server reports what crosses from it to this front's zone, kB a second by class, all fronts together.
-    pub fn usage_reported(&mut self, server: u32, kb: BTreeMap<u8, f64>, now: u64) {
+    pub fn usage_reported(&mut self, server: u32, rate_kb_by_class: BTreeMap<u8, f64>, now: u64) {
         self.server_connected(server, now);
-        if let Some(zone) = self.zones.get(&server) {
-            self.crossing.usage_reported(
-                *zone,
-                server,
-                now.saturating_sub(self.terms.note_delay),
-                kb,
-            );
+        if let Some(zone) = self.servers.zone(server) {
+            let at = self.described_time(now);
+            self.admission
+                .usage_reported(zone, server, at, rate_kb_by_class);
         }
     }
 
-    /// A server says what share of all rates it delivers; heard now, it speaks of the time before its delay.
+    /// A server reports what share of all rates it delivers; the report describes the time before its delay.
     pub fn delivery_reported(&mut self, server: u32, share: f64, now: u64) {
         self.server_connected(server, now);
-        self.account
-            .share(server, share, now.saturating_sub(self.terms.note_delay));
+        let at = self.described_time(now);
+        self.account.delivery_reported(server, share, at);
     }
+}
 
-    // ---- sessions ----
-
-    /// A request of a class came.
+/// Events of sessions.
+impl TrafficController {
+    /// A request of a class arrived.
     pub fn session_requested(&mut self, class: u8, now: u64) {
-        self.crossing.session_requested(now, class);
+        self.admission.session_requested(now, class);
     }
 
-    /// An attempt goes out.
+    /// An attempt was sent to its server.
     pub fn attempt_started(&mut self, attempt: AttemptUsage) {
+        let server_zone = self.servers.zone(attempt.server);
         let flow = Flow {
-            from: self
-                .zones
-                .get(&attempt.server)
-                .copied()
-                .unwrap_or(self.terms.zone),
-            to: self.terms.zone,
+            from: server_zone.unwrap_or(self.config.zone),
+            to: self.config.zone,
             class: attempt.class,
             tenant: attempt.tenant,
             group: attempt.group,
             purpose: if attempt.number > 0 {
-                Purpose::Again
+                Purpose::Retry
             } else {
-                Purpose::Playing
+                Purpose::FirstAttempt
             },
         };
-        self.out.insert(attempt.id, (attempt, flow, false));
+        self.attempts.insert(attempt, flow);
     }
 
-    /// An attempt came to play.
+    /// An attempt became a session.
     pub fn session_established(&mut self, id: u64, now: u64) {
-        let Some((attempt, flow, plays)) = self.out.get_mut(&id) else {
+        let Some(ActiveAttempt { usage, flow, .. }) = self.attempts.establish(id) else {
             return;
         };
-        *plays = true;
-        let (attempt, flow) = (*attempt, *flow);
-        let (kb, least_kb) = (
-            self.kb(attempt.class, attempt.rung),
-            self.kb(attempt.class, 0),
-        );
-        self.account.start(id, flow, attempt.server, kb, now);
+        let rate_kb = self.config.rate_kb(usage.class, usage.rung);
+        self.account
+            .session_started(id, flow, usage.server, rate_kb, now);
         if flow.crosses() {
-            let home_up = self
-                .up
-                .get(&self.terms.zone)
-                .is_some_and(|up| !up.is_empty());
-            let cause = if home_up {
-                CapReason::HallFull
-            } else {
-                CapReason::HallLost
+            let start = SessionStart {
+                session: id,
+                from: flow.from,
+                class: flow.class,
+                rate_kb,
+                lowest_rate_kb: self.config.rate_kb(usage.class, LOWEST_RUNG),
+                cause: self.crossing_cause(),
             };
-            let (session, from, class) = (id, flow.from, flow.class);
-            self.crossing.start(
-                now,
-                SessionStart {
-                    session,
-                    from,
-                    class,
-                    kb,
-                    least_kb,
-                    cause,
-                },
-            );
+            self.admission.session_started(now, start);
+        }
+    }
+
+    /// Why a paid session would cross beyond its budget now.
+    fn crossing_cause(&self) -> CapReason {
+        if self.servers.has_server_up(self.config.zone) {
+            CapReason::LocalZoneFull
+        } else {
+            CapReason::LocalZoneDown
         }
     }
 
-    /// A session's rung changed.
+    /// The rung of a session changed.
     pub fn rung_changed(&mut self, id: u64, rung: u8, now: u64) {
-        let Some((attempt, ..)) = self.out.get(&id) else {
+        let Some(attempt) = self.attempts.get(id) else {
             return;
         };
-        let kb = self.kb(attempt.class, rung);
-        self.account.rate(id, kb, now);
-        self.crossing.rate(now, id, kb);
+        let rate_kb = self.config.rate_kb(attempt.usage.class, rung);
+        self.account.rate_changed(id, rate_kb, now);
+        self.admission.rate_changed(now, id, rate_kb);
     }
 
-    /// An attempt or session is over. `lost`: its server is gone and will say nothing more; then it flowed until the
-    /// server was last heard.
-    pub fn attempt_ended(&mut self, id: u64, lost: bool, now: u64) {
-        let Some((attempt, flow, plays)) = self.out.remove(&id) else {
+    /// An attempt or session ended. `server_lost`: its server is lost and will send no final count; then the session flowed
+    /// until the server was last received from.
+    pub fn attempt_ended(&mut self, id: u64, server_lost: bool, now: u64) {
+        let Some(attempt) = self.attempts.remove(id) else {
             return;
         };
-        if plays {
-            let heard = self.heard.get(&attempt.server).copied().filter(|_| lost);
-            self.account.end(id, heard.unwrap_or(now).min(now));
-            self.crossing.end(now, id);
-        } else {
-            self.loose.insert(
-                id,
-                (
-                    Flow {
-                        purpose: Purpose::Nothing,
-                        ..flow
-                    },
-                    now,
-                ),
-            );
+        if !attempt.is_established {
+            self.attempts.await_final_count(id, attempt.flow, now);
+            return;
         }
+        let last_received = self.servers.last_received(attempt.usage.server);
+        let flowed_until = match last_received {
+            Some(received_at) if server_lost => received_at.min(now),
+            _ => now,
+        };
+        self.account.session_ended(id, flowed_until);
+        self.admission.session_ended(now, id);
     }
 
-    /// A server counted so many bytes for a session by now; heard now, it speaks of the time before its delay.
+    /// A server counted so many bytes for a session; the count describes the time before its delay.
     pub fn bytes_counted(&mut self, id: u64, bytes: u64, now: u64) {
-        if self.out.get(&id).is_some_and(|(.., plays)| *plays) {
-            self.account
-                .count(id, bytes, now.saturating_sub(self.terms.note_delay));
+        if self.attempts.is_established(id) {
+            let at = self.described_time(now);
+            self.account.bytes_counted(id, bytes, at);
         }
     }
 
-    /// A server's last word on an attempt or session: all that it sent.
+    /// A server's final count of an attempt or session: all bytes that it sent.
     pub fn final_bytes_counted(&mut self, id: u64, bytes: u64, now: u64) {
-        match self.loose.remove(&id) {
-            Some((flow, _)) => self.account.once(flow, bytes, now),
-            None => self.account.final_count(id, bytes),
+        match self.attempts.take_failed(id) {
+            Some(flow) => self.account.add_measured(flow, bytes, now),
+            None => self.account.final_bytes_counted(id, bytes),
         }
     }
+}
 
-    // ---- decisions ----
-
-    /// Zones, classes and how these may leave for those: what changed since it was last asked. Tell it to the placement
+/// Decisions and periodic work.
+impl TrafficController {
+    /// How classes may be served from zones, where that changed since the previous call. Notify the placement module of it
     /// before a request is placed.
-    pub fn policy_changes(&mut self, now: u64) -> Vec<(u8, u8, CrossZonePolicy)> {
-        self.crossing.policy_changes(now)
+    pub fn policy_changes(&mut self, now: u64) -> Vec<PolicyChange> {
+        self.admission.policy_changes(now)
     }
 
-    /// Zones all of whose servers this front needs to hear now.
+    /// Zones all of whose servers' reports this front needs now.
+    #[must_use]
     pub fn zones_observed(&self, now: u64) -> BTreeSet<u8> {
-        self.crossing.zones_observed(now)
+        self.admission.zones_observed(now)
     }
 
-    /// Whether a server lies in one of these zones and is up.
+    /// Whether a server is listed in one of these zones and is up.
+    #[must_use]
     pub fn is_in_zones(&self, server: u32, zones: &BTreeSet<u8>) -> bool {
-        let zone = self.zones.get(&server).filter(|zone| zones.contains(zone));
-        zone.and_then(|zone| self.up.get(zone))
-            .is_some_and(|up| up.contains(&server))
+        self.servers.is_up_in(server, zones)
     }
 
-    /// Call it about once a second; which sessions are to be lowered or may rise again.
+    /// Updates quotas and returns which sessions are to be capped or uncapped; call it about once a second.
     pub fn tick(&mut self, now: u64) -> RateCapChanges {
-        self.loose
-            .retain(|_, (_, at)| now.saturating_sub(*at) < LAST_WORD);
-        self.crossing.tick(now)
+        self.attempts.remove_expired(now);
+        self.admission.tick(now)
     }
 
-    /// Settles up to `most` sessions; whether that was the last of a round.
-    pub fn settle_usage(&mut self, now: u64, most: usize) -> bool {
-        self.account.settle_until(now, most)
+    /// Settles up to `max_sessions` sessions; true when that completed a round.
+    pub fn settle_usage(&mut self, now: u64, max_sessions: usize) -> bool {
+        self.account.settle(now, max_sessions)
     }
 
-    /// Other terms from now on; what was counted, flows and is owed stays. Classes keep their numbers.
-    pub fn change(&mut self, terms: TrafficConfig) {
-        self.crossing.change(&terms.limits, terms.place);
-        self.terms = terms;
+    /// Restores what a previous incarnation saved; false where something was counted already.
+    pub fn restore(&mut self, saved_flows: &[SavedFlow]) -> bool {
+        self.account.restore(saved_flows)
     }
+}
 
-    // ---- what is told ----
-
-    /// The account.
+/// State that is reported.
+impl TrafficController {
+    /// The usage account.
+    #[must_use]
     pub fn usage(&self) -> &UsageAccount {
         &self.account
     }
 
-    /// How the budgets stand.
+    /// The state of each budget.
     pub fn budget_statuses(&mut self, now: u64) -> Vec<BudgetStatus> {
-        self.crossing.budget_statuses(now)
-    }
-
-    /// Takes over what an earlier life kept.
-    pub fn restore(&mut self, kept: &[SavedFlow]) -> bool {
-        self.account.restore(kept)
+        self.admission.budget_statuses(now)
     }
 }
--- a/crates/cross-zone-traffic/src/windows.rs
+++ b/crates/cross-zone-traffic/src/windows.rs
@@ -1,53 +1,72 @@
-//! Sums over the late seconds, minutes and hours.
+//! Byte totals of recent seconds, minutes and hours, in bounded memory.
+use crate::SECOND;
 
-/// How many of each are kept.
-pub const KEPT: (usize, usize, usize) = (120, 120, 168);
+/// Seconds whose totals are retained.
+const RETAINED_SECONDS: usize = 120;
+/// Minutes whose totals are retained.
+const RETAINED_MINUTES: usize = 120;
+/// Hours whose totals are retained: a week.
+const RETAINED_HOURS: usize = 168;
 
-/// A ring of sums, one for each of the late spans of time.
+/// A ring buffer of byte totals, one for each recent span of time.
 #[derive(Clone, Debug)]
 struct Ring {
+    /// Length of a span, nanoseconds.
     span: u64,
-    sums: Vec<u64>,
-    newest: u64, // Number of the newest span; those before it stand behind it in the ring.
+    /// The total of span `n` is at `n` modulo the number of totals.
+    totals: Vec<u64>,
+    /// Number of the newest span.
+    newest: u64,
 }
 
 impl Ring {
-    fn new(span: u64, kept: usize) -> Ring {
+    fn new(span: u64, retained: usize) -> Ring {
         Ring {
             span,
-            sums: vec![0; kept],
+            totals: vec![0; retained],
             newest: 0,
         }
     }
 
+    fn retained(&self) -> u64 {
+        self.totals.len() as u64
+    }
+
+    fn index(&self, number: u64) -> usize {
+        (number % self.retained()) as usize
+    }
+
     fn add(&mut self, at: u64, bytes: u64) {
-        let (number, kept) = (at / self.span, self.sums.len() as u64);
+        let number = at / self.span;
         if number > self.newest {
-            // What lies between is empty; a long silence empties the whole ring once.
-            for n in self.newest + 1..=number.min(self.newest + kept) {
-                self.sums[(n % kept) as usize] = 0;
-            }
-            if number > self.newest + kept {
-                self.sums.fill(0);
-            }
-            self.newest = number;
+            self.advance_to(number);
         }
-        if self.newest - number < kept {
-            let sum = &mut self.sums[(number % kept) as usize];
-            *sum = sum.saturating_add(bytes);
+        if self.newest - number < self.retained() {
+            let index = self.index(number);
+            self.totals[index] = self.totals[index].saturating_add(bytes);
         }
     }
 
-    fn late(&self) -> Vec<(u64, u64)> {
-        let kept = self.sums.len() as u64;
-        let first = (self.newest + 1).saturating_sub(kept);
-        (first..=self.newest)
-            .map(|n| (n * self.span, self.sums[(n % kept) as usize]))
+    /// Clears the spans up to a new newest one, each at most once.
+    fn advance_to(&mut self, number: u64) {
+        let last_to_clear = number.min(self.newest + self.retained());
+        for cleared in self.newest + 1..=last_to_clear {
+            let index = self.index(cleared);
+            self.totals[index] = 0;
+        }
+        self.newest = number;
+    }
+
+    /// Start and total of each span, oldest first.
+    fn recent(&self) -> Vec<(u64, u64)> {
+        let oldest = (self.newest + 1).saturating_sub(self.retained());
+        (oldest..=self.newest)
+            .map(|number| (number * self.span, self.totals[self.index(number)]))
             .collect()
     }
 }
 
-/// Which span a sum is over.
+/// The length of the spans that totals are kept for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Span {
     /// A second.
@@ -58,45 +77,54 @@
     Hour,
 }
 
-/// Bytes of one flow over late spans, and in all.
+/// Bytes of one flow over recent spans, and in all.
 #[derive(Clone, Debug)]
 pub struct Windows {
-    rings: [Ring; 3],
+    seconds: Ring,
+    minutes: Ring,
+    hours: Ring,
     total: u64,
 }
 
 impl Default for Windows {
     fn default() -> Windows {
-        const SECOND: u64 = crate::SECOND;
-        let rings = [
-            Ring::new(SECOND, KEPT.0),
-            Ring::new(60 * SECOND, KEPT.1),
-            Ring::new(3600 * SECOND, KEPT.2),
-        ];
-        Windows { rings, total: 0 }
+        Windows {
+            seconds: Ring::new(SECOND, RETAINED_SECONDS),
+            minutes: Ring::new(60 * SECOND, RETAINED_MINUTES),
+            hours: Ring::new(3600 * SECOND, RETAINED_HOURS),
+            total: 0,
+        }
     }
 }
 
 impl Windows {
-    /// Adds bytes that went at a time; a time before what is kept counts in the total only.
+    /// Adds bytes that were sent at a time; those of a time older than the retained spans count in the total only.
     pub fn add(&mut self, at: u64, bytes: u64) {
-        self.rings.iter_mut().for_each(|ring| ring.add(at, bytes));
+        self.seconds.add(at, bytes);
+        self.minutes.add(at, bytes);
+        self.hours.add(at, bytes);
         self.total = self.total.saturating_add(bytes);
     }
 
     /// All bytes ever added.
+    #[must_use]
     pub fn total(&self) -> u64 {
         self.total
     }
 
-    /// Takes a total over that was kept elsewhere.
+    /// Replaces the total by one that was saved.
     pub fn set_total(&mut self, total: u64) {
         self.total = total;
     }
 
-    /// The late spans, oldest first: when each began and its bytes.
+    /// The recent spans, oldest first: the start of each, nanoseconds, and its bytes.
+    #[must_use]
     pub fn recent(&self, span: Span) -> Vec<(u64, u64)> {
-        self.rings[span as usize].late()
+        match span {
+            Span::Second => self.seconds.recent(),
+            Span::Minute => self.minutes.recent(),
+            Span::Hour => self.hours.recent(),
+        }
     }
 }
 
--- a/crates/cross-zone-traffic/tests/report_digits.rs
+++ b/crates/cross-zone-traffic/tests/report_digits.rs
@@ -1,6 +1,6 @@
 //! Pins the reports of a simulated front to the last digit: the order in which floating-point values are added shows here.
 use crankpaddle_cross_zone_traffic::budget::{FrontPosition, SharedBudget};
-use crankpaddle_cross_zone_traffic::cross_zone_admission::CrossZoneLimit;
+use crankpaddle_cross_zone_traffic::cross_zone_admission::{CrossZoneLimit, PolicyChange};
 use crankpaddle_cross_zone_traffic::report::{merge, TrafficNames, TrafficReport};
 use crankpaddle_cross_zone_traffic::traffic_controller::{
     AttemptUsage, TrafficClass, TrafficConfig, TrafficController,
@@ -49,10 +49,13 @@
 fn controller(index: u32) -> TrafficController {
     let class = |paid, rates: [f64; 3]| TrafficClass {
         paid,
-        kb: rates.to_vec(),
+        rung_rates_kb: rates.to_vec(),
     };
     let mut controller = TrafficController::new(TrafficConfig {
-        place: FrontPosition { index, siblings: 3 },
+        position: FrontPosition {
+            index,
+            replica_count: 3,
+        },
         zone: 0,
         classes: vec![
             class(true, [51.3, 133.7, 301.9]),
@@ -64,7 +67,7 @@
             limit(1, Some(0), 700.3, f64::INFINITY),
             limit(2, None, 2500.1, 9e7),
         ],
-        note_delay: SECOND / 2,
+        report_delay: SECOND / 2,
     });
     for server in 0..SERVERS {
         controller.endpoint_listed(server, (server % 3) as u8, true);
@@ -135,10 +138,15 @@
                 }
             }
             let caps = controller.tick(now);
-            capped += caps.lower.len();
-            uncapped += caps.restore.len();
-            log += &format!("{:?} {:?} ", caps.lower, caps.restore);
-            for (zone, class, policy) in controller.policy_changes(now) {
+            capped += caps.cap.len();
+            uncapped += caps.uncap.len();
+            log += &format!("{:?} {:?} ", caps.cap, caps.uncap);
+            for PolicyChange {
+                zone,
+                class,
+                policy,
+            } in controller.policy_changes(now)
+            {
                 log += &format!("{zone} {class} {policy:?} ");
             }
             log += &format!("{:?}\n", controller.zones_observed(now));
--- a/crates/cross-zone-traffic/tests/traffic_controller.rs
+++ b/crates/cross-zone-traffic/tests/traffic_controller.rs
@@ -1,6 +1,8 @@
-//! The desk as a front drives it: events of sessions in, gates, orders and reports out.
+//! The traffic controller as a front drives it: events of sessions in, policies, rate caps and reports out.
 use crankpaddle_cross_zone_traffic::budget::{FrontPosition, SharedBudget};
-use crankpaddle_cross_zone_traffic::cross_zone_admission::{CrossZoneLimit, CrossZonePolicy};
+use crankpaddle_cross_zone_traffic::cross_zone_admission::{
+    CrossZoneLimit, CrossZonePolicy, PolicyChange,
+};
 use crankpaddle_cross_zone_traffic::report::{merge, TrafficNames, TrafficReport};
 use crankpaddle_cross_zone_traffic::traffic_controller::{
     AttemptUsage, TrafficClass, TrafficConfig, TrafficController,
@@ -23,7 +25,7 @@
     }
 }
 
-fn terms(rate_kb: f64) -> TrafficConfig {
+fn config(rate_kb: f64) -> TrafficConfig {
     let shared = SharedBudget {
         rate_kb,
         burst: 2e6,
@@ -32,19 +34,19 @@
         repay: 20 * SECOND,
     };
     TrafficConfig {
-        place: FrontPosition {
+        position: FrontPosition {
             index: 0,
-            siblings: 1,
+            replica_count: 1,
         },
         zone: 0,
         classes: vec![
             TrafficClass {
                 paid: true,
-                kb: vec![50.0, 100.0],
+                rung_rates_kb: vec![50.0, 100.0],
             },
             TrafficClass {
                 paid: false,
-                kb: vec![40.0, 80.0],
+                rung_rates_kb: vec![40.0, 80.0],
             },
         ],
         limits: vec![CrossZoneLimit {
@@ -52,17 +54,25 @@
             class: None,
             shared,
         }],
-        note_delay: SECOND / 2,
+        report_delay: SECOND / 2,
     }
 }
 
-/// Servers 1 and 2 at home, 11 and 12 in the other hall.
-fn desk(rate_kb: f64) -> TrafficController {
-    let mut desk = TrafficController::new(terms(rate_kb));
+/// Servers 1 and 2 in the own zone, 11 and 12 in the other.
+fn new_controller(rate_kb: f64) -> TrafficController {
+    let mut controller = TrafficController::new(config(rate_kb));
     for server in [1, 2, 11, 12] {
-        desk.endpoint_listed(server, u8::from(server > 10), true);
+        controller.endpoint_listed(server, u8::from(server > 10), true);
+    }
+    controller
+}
+
+fn change(zone: u8, class: u8, policy: CrossZonePolicy) -> PolicyChange {
+    PolicyChange {
+        zone,
+        class,
+        policy,
     }
-    desk
 }
 
 fn attempt(id: u64, server: u32, class: u8) -> AttemptUsage {
@@ -77,94 +87,95 @@
     }
 }
 
-fn play(desk: &mut TrafficController, id: u64, server: u32, class: u8, now: u64) {
-    desk.attempt_started(attempt(id, server, class));
-    desk.session_established(id, now);
+fn play(controller: &mut TrafficController, id: u64, server: u32, class: u8, now: u64) {
+    controller.attempt_started(attempt(id, server, class));
+    controller.session_established(id, now);
 }
 
-fn settle(desk: &mut TrafficController, now: u64) {
-    while !desk.settle_usage(now, 3) {}
+fn settle(controller: &mut TrafficController, now: u64) {
+    while !controller.settle_usage(now, 3) {}
 }
 
-fn report(desk: &mut TrafficController, now: u64) -> TrafficReport {
-    TrafficReport::of(desk, 7, 0, &names(), now)
+fn report(controller: &mut TrafficController, now: u64) -> TrafficReport {
+    TrafficReport::of(controller, 7, 0, &names(), now)
 }
 
 #[test]
-fn only_what_comes_from_another_zone_is_held_to_its_budget() {
-    let mut d = desk(100.0);
-    (0..50).for_each(|n| play(&mut d, n, 1, PREVIEW, START));
-    assert_eq!(d.policy_changes(START), []);
-    (100..110).for_each(|n| play(&mut d, n, 11, PREVIEW, START));
+fn only_traffic_from_another_zone_is_held_to_its_budget() {
+    let mut controller = new_controller(100.0);
+    (0..50).for_each(|n| play(&mut controller, n, 1, PREVIEW, START));
+    assert_eq!(controller.policy_changes(START), []);
+    (100..110).for_each(|n| play(&mut controller, n, 11, PREVIEW, START));
     assert_eq!(
-        d.policy_changes(START),
+        controller.policy_changes(START),
         [
-            (1, PAID, CrossZonePolicy::LastResort),
-            (1, PREVIEW, CrossZonePolicy::Forbidden)
+            change(1, PAID, CrossZonePolicy::LastResort),
+            change(1, PREVIEW, CrossZonePolicy::Forbidden)
         ]
     );
-    let told = report(&mut d, START).budgets.remove(0);
+    let reported = report(&mut controller, START).budgets.remove(0);
     assert_eq!(
-        (told.paid_kb, told.other_kb, told.from.as_str()),
+        (reported.paid_kb, reported.other_kb, reported.from.as_str()),
         (0.0, 800.0, "south")
     );
-    (100..110).for_each(|n| d.attempt_ended(n, false, START + SECOND));
-    (2..200).for_each(|s| drop(d.tick(START + s * SECOND)));
+    (100..110).for_each(|n| controller.attempt_ended(n, false, START + SECOND));
+    (2..200).for_each(|s| drop(controller.tick(START + s * SECOND)));
     assert_eq!(
-        d.policy_changes(START + 200 * SECOND).len(),
+        controller.policy_changes(START + 200 * SECOND).len(),
         2,
-        "both are free again"
+        "both are allowed again"
     );
 }
 
 #[test]
-fn overdrafts_are_told_with_their_cause() {
-    let mut d = desk(1.0);
-    play(&mut d, 1, 11, PAID, START);
-    play(&mut d, 2, 11, PAID, START);
-    let full = report(&mut d, START).budgets.remove(0);
+fn overdrafts_are_reported_with_their_cause() {
+    let mut controller = new_controller(1.0);
+    play(&mut controller, 1, 11, PAID, START);
+    play(&mut controller, 2, 11, PAID, START);
+    let full = report(&mut controller, START).budgets.remove(0);
     assert!(
         full.overdraft_hall_full_bytes > 0 && full.overdraft_hall_lost_bytes == 0,
         "{full:?}"
     );
-    d.server_lost(1);
-    d.server_lost(2);
-    play(&mut d, 3, 11, PAID, START);
-    let lost = report(&mut d, START).budgets.remove(0);
+    controller.server_lost(1);
+    controller.server_lost(2);
+    play(&mut controller, 3, 11, PAID, START);
+    let lost = report(&mut controller, START).budgets.remove(0);
     assert!(lost.overdraft_hall_lost_bytes > 0, "{lost:?}");
     assert_eq!(
         lost.overdraft_hall_full_bytes,
         full.overdraft_hall_full_bytes
     );
-    // A server that speaks again is up again, whatever the list says meanwhile.
-    d.server_connected(1, START);
-    play(&mut d, 4, 11, PAID, START);
+    // A server that a message is received from is up again, whatever the endpoint list states meanwhile.
+    controller.server_connected(1, START);
+    play(&mut controller, 4, 11, PAID, START);
     assert!(
-        report(&mut d, START).budgets[0].overdraft_hall_full_bytes > full.overdraft_hall_full_bytes
+        report(&mut controller, START).budgets[0].overdraft_hall_full_bytes
+            > full.overdraft_hall_full_bytes
     );
 }
 
 #[test]
-fn every_attempt_is_counted_once_under_what_it_came_to() {
-    let mut d = desk(1e6);
-    play(&mut d, 1, 1, PREVIEW, START);
-    d.attempt_started(AttemptUsage {
+fn every_attempt_is_counted_once_under_its_purpose() {
+    let mut controller = new_controller(1e6);
+    play(&mut controller, 1, 1, PREVIEW, START);
+    controller.attempt_started(AttemptUsage {
         number: 1,
         group: 1,
         ..attempt(2, 11, PREVIEW)
     });
-    d.session_established(2, START);
-    d.attempt_started(attempt(3, 12, PREVIEW)); // Comes to nothing, but its server had begun to send.
-    d.attempt_ended(3, false, START + SECOND);
-    d.final_bytes_counted(3, 555, START + SECOND);
-    d.final_bytes_counted(3, 555, START + SECOND); // Said twice.
+    controller.session_established(2, START);
+    controller.attempt_started(attempt(3, 12, PREVIEW)); // Fails, but its server had started to send.
+    controller.attempt_ended(3, false, START + SECOND);
+    controller.final_bytes_counted(3, 555, START + SECOND);
+    controller.final_bytes_counted(3, 555, START + SECOND); // A duplicate.
     for id in [1, 2] {
-        d.attempt_ended(id, false, START + 10 * SECOND);
-        d.final_bytes_counted(id, 1000 * id, START + 10 * SECOND);
+        controller.attempt_ended(id, false, START + 10 * SECOND);
+        controller.final_bytes_counted(id, 1000 * id, START + 10 * SECOND);
     }
-    settle(&mut d, START + 60 * SECOND);
-    let told = report(&mut d, START + 60 * SECOND);
-    let all: Vec<(&str, &str, u64)> = told
+    settle(&mut controller, START + 60 * SECOND);
+    let reported = report(&mut controller, START + 60 * SECOND);
+    let all: Vec<(&str, &str, u64)> = reported
         .flows
         .iter()
         .map(|f| (f.purpose.as_str(), f.group.as_str(), f.bytes))
@@ -177,23 +188,26 @@
             ("again", "sport", 2000)
         ]
     );
-    assert_eq!(told.too_late, 1, "the second last word");
+    assert_eq!(
+        reported.dropped_late_reports, 1,
+        "the duplicate final count"
+    );
 }
 
 #[test]
-fn a_session_of_a_lost_server_flowed_until_that_was_last_heard() {
-    let mut d = desk(1e6);
-    play(&mut d, 1, 11, PREVIEW, START);
-    play(&mut d, 2, 12, PREVIEW, START);
+fn a_session_of_a_lost_server_flowed_until_the_server_was_last_received_from() {
+    let mut controller = new_controller(1e6);
+    play(&mut controller, 1, 11, PREVIEW, START);
+    play(&mut controller, 2, 12, PREVIEW, START);
     for s in 1..=5 {
-        d.bytes_counted(1, 80_000 * s, START + s * SECOND + SECOND / 2);
-        d.server_connected(11, START + s * SECOND + SECOND / 2);
+        controller.bytes_counted(1, 80_000 * s, START + s * SECOND + SECOND / 2);
+        controller.server_connected(11, START + s * SECOND + SECOND / 2);
     }
-    d.server_alive(12, START + 3 * SECOND); // Its process ended then, and its connection with it.
-    d.attempt_ended(1, true, START + 9 * SECOND); // Silent since 5.5 s.
-    d.attempt_ended(2, true, START + 9 * SECOND);
-    settle(&mut d, START + 60 * SECOND);
-    let flow = report(&mut d, START + 60 * SECOND).flows.remove(0);
+    controller.server_alive(12, START + 3 * SECOND); // Its process ended then, and its connection with it.
+    controller.attempt_ended(1, true, START + 9 * SECOND); // Silent since 5.5 s.
+    controller.attempt_ended(2, true, START + 9 * SECOND);
+    settle(&mut controller, START + 60 * SECOND);
+    let flow = report(&mut controller, START + 60 * SECOND).flows.remove(0);
     assert_eq!(
         (flow.measured_bytes, flow.estimated_bytes),
         (400_000, 40_000 + 3 * 80_000)
@@ -201,59 +215,63 @@
 }
 
 #[test]
-fn reports_are_asked_for_only_while_more_is_wanted_and_then_of_every_server_there() {
-    let mut d = TrafficController::new(TrafficConfig {
-        place: FrontPosition {
+fn zones_are_observed_only_while_there_is_demand_and_then_every_server_counts() {
+    let mut controller = TrafficController::new(TrafficConfig {
+        position: FrontPosition {
             index: 0,
-            siblings: 4,
+            replica_count: 4,
         },
-        ..terms(400.0)
+        ..config(400.0)
     });
     for server in [1, 11, 12] {
-        d.endpoint_listed(server, u8::from(server > 10), true);
+        controller.endpoint_listed(server, u8::from(server > 10), true);
     }
-    assert!(d.zones_observed(START).is_empty());
-    (100..104).for_each(|n| play(&mut d, n, 11, PREVIEW, START));
-    d.session_requested(PREVIEW, START);
-    assert_eq!(d.zones_observed(START), BTreeSet::from([1]));
+    assert!(controller.zones_observed(START).is_empty());
+    (100..104).for_each(|n| play(&mut controller, n, 11, PREVIEW, START));
+    controller.session_requested(PREVIEW, START);
+    assert_eq!(controller.zones_observed(START), BTreeSet::from([1]));
     assert!(
-        d.is_in_zones(12, &d.zones_observed(START)) && !d.is_in_zones(1, &d.zones_observed(START))
+        controller.is_in_zones(12, &controller.zones_observed(START))
+            && !controller.is_in_zones(1, &controller.zones_observed(START))
     );
-    let mut parts = Vec::new();
+    let mut quotas = Vec::new();
     for s in 1..=6u64 {
         let now = START + s * SECOND;
-        d.session_requested(PREVIEW, now);
-        d.usage_reported(11, BTreeMap::from([(PREVIEW, 320.0)]), now);
+        controller.session_requested(PREVIEW, now);
+        controller.usage_reported(11, BTreeMap::from([(PREVIEW, 320.0)]), now);
         if s > 2 {
-            d.usage_reported(12, BTreeMap::new(), now); // Until it reports too, nothing is known of all.
+            controller.usage_reported(12, BTreeMap::new(), now); // Until it reports too, the total is unknown.
         }
-        d.tick(now);
-        parts.push(report(&mut d, now).budgets[0].part);
+        controller.tick(now);
+        quotas.push(report(&mut controller, now).budgets[0].quota);
     }
     assert!(
-        parts[..2].iter().all(|p| *p == 0.25) && parts[5] > 0.25,
-        "{parts:?}"
+        quotas[..2].iter().all(|p| *p == 0.25) && quotas[5] > 0.25,
+        "{quotas:?}"
+    );
+    controller.server_lost(12);
+    assert!(!controller.is_in_zones(12, &BTreeSet::from([1])));
+    // A server that a complete list no longer contains is not waited for.
+    controller.endpoint_listed(13, 1, true);
+    assert!(controller.is_in_zones(13, &BTreeSet::from([1])));
+    controller.retain_endpoints(&BTreeSet::from([1, 11, 12]));
+    assert!(
+        !controller.is_in_zones(13, &BTreeSet::from([1]))
+            && controller.is_in_zones(11, &BTreeSet::from([1]))
     );
-    d.server_lost(12);
-    assert!(!d.is_in_zones(12, &BTreeSet::from([1])));
-    // A server that a whole list no longer names is not waited for.
-    d.endpoint_listed(13, 1, true);
-    assert!(d.is_in_zones(13, &BTreeSet::from([1])));
-    d.retain_endpoints(&BTreeSet::from([1, 11, 12]));
-    assert!(!d.is_in_zones(13, &BTreeSet::from([1])) && d.is_in_zones(11, &BTreeSet::from([1])));
 }
 
 #[test]
-fn an_account_survives_a_restart_and_names_that_are_gone_lose_no_byte() {
-    let mut d = desk(1e6);
-    play(&mut d, 1, 11, PREVIEW, START);
-    play(&mut d, 2, 1, PAID, START);
-    settle(&mut d, START + 60 * SECOND);
-    let told = report(&mut d, START + 60 * SECOND);
-    let text = serde_json::to_string(&told).unwrap();
+fn an_account_survives_a_restart_and_removed_names_lose_no_byte() {
+    let mut controller = new_controller(1e6);
+    play(&mut controller, 1, 11, PREVIEW, START);
+    play(&mut controller, 2, 1, PAID, START);
+    settle(&mut controller, START + 60 * SECOND);
+    let reported = report(&mut controller, START + 60 * SECOND);
+    let text = serde_json::to_string(&reported).unwrap();
     let read: TrafficReport = serde_json::from_str(&text).unwrap();
-    assert_eq!(read, told);
-    let mut next = desk(1e6);
+    assert_eq!(read, reported);
+    let mut next = new_controller(1e6);
     assert!(next.restore(&read.saved_flows(&names())));
     let after = report(&mut next, START + 61 * SECOND);
     let plain = |r: &TrafficReport| -> Vec<(String, u64, Vec<_>)> {
@@ -262,25 +280,25 @@
             .map(|f| (f.class.clone(), f.bytes, f.hours.clone()))
             .collect()
     };
-    assert_eq!(plain(&after), plain(&told));
+    assert_eq!(plain(&after), plain(&reported));
     let renamed = TrafficNames {
         classes: vec!["paid".into(), "teaser".into()],
         ..names()
     };
-    let mut next = desk(1e6);
+    let mut next = new_controller(1e6);
     next.restore(&read.saved_flows(&renamed));
     let total = |r: &TrafficReport| r.flows.iter().map(|f| f.bytes).sum::<u64>();
-    assert_eq!(total(&report(&mut next, START)), total(&told));
+    assert_eq!(total(&report(&mut next, START)), total(&reported));
 }
 
 #[test]
-fn a_front_that_is_told_of_twice_counts_once() {
-    let mut d = desk(1e6);
-    play(&mut d, 1, 11, PREVIEW, START);
-    settle(&mut d, START + 30 * SECOND);
-    let earlier = report(&mut d, START + 30 * SECOND);
-    settle(&mut d, START + 60 * SECOND);
-    let later = report(&mut d, START + 60 * SECOND);
+fn a_front_with_two_reports_counts_once() {
+    let mut controller = new_controller(1e6);
+    play(&mut controller, 1, 11, PREVIEW, START);
+    settle(&mut controller, START + 30 * SECOND);
+    let earlier = report(&mut controller, START + 30 * SECOND);
+    settle(&mut controller, START + 60 * SECOND);
+    let later = report(&mut controller, START + 60 * SECOND);
     let other = TrafficReport {
         front: 8,
         ..later.clone()
@@ -292,37 +310,42 @@
         both.flows[0].hours[0].bytes,
         2 * later.flows[0].hours[0].bytes
     );
-    assert_eq!(both.budgets[0].part, 2.0);
-    // A front whose clock is no later than what is known adds nothing.
+    assert_eq!(both.budgets[0].quota, 2.0);
+    // A report no later than the known one adds nothing.
     assert_eq!(merge([later.clone(), later.clone()]).flows, later.flows);
 }
 
 #[test]
-fn other_terms_keep_the_account_and_the_debt() {
-    let mut d = desk(100.0);
-    (100..110).for_each(|n| play(&mut d, n, 11, PREVIEW, START));
-    assert_eq!(d.policy_changes(START).len(), 2);
-    settle(&mut d, START + 20 * SECOND);
-    let before = report(&mut d, START + 20 * SECOND);
-    d.change(terms(1000.0));
-    let after = report(&mut d, START + 20 * SECOND);
+fn another_configuration_keeps_the_account_and_the_debt() {
+    let mut controller = new_controller(100.0);
+    (100..110).for_each(|n| play(&mut controller, n, 11, PREVIEW, START));
+    assert_eq!(controller.policy_changes(START).len(), 2);
+    settle(&mut controller, START + 20 * SECOND);
+    let before = report(&mut controller, START + 20 * SECOND);
+    controller.reconfigure(config(1000.0));
+    let after = report(&mut controller, START + 20 * SECOND);
     assert_eq!(after.flows, before.flows);
     assert_eq!(
         (after.budgets[0].rate_kb, after.budgets[0].other_kb),
         (1000.0, 800.0)
     );
-    d.change(TrafficConfig {
+    controller.reconfigure(TrafficConfig {
         limits: vec![],
-        ..terms(1000.0)
+        ..config(1000.0)
     });
     assert_eq!(
-        d.policy_changes(START + 20 * SECOND).len(),
+        controller.policy_changes(START + 20 * SECOND).len(),
         2,
-        "what had no budget any more is free"
+        "a zone without a budget any more is allowed"
+    );
+    assert_eq!(
+        report(&mut controller, START + 20 * SECOND).flows,
+        before.flows
     );
-    assert_eq!(report(&mut d, START + 20 * SECOND).flows, before.flows);
     assert_eq!(
-        d.usage().total(|f| f.purpose == Purpose::Playing),
+        controller
+            .usage()
+            .total(|f| f.purpose == Purpose::FirstAttempt),
         before.flows[0].bytes
     );
 }
--- a/crates/daemon/src/event_loop/maintenance.rs
+++ b/crates/daemon/src/event_loop/maintenance.rs
@@ -1,5 +1,6 @@
 //! Upkeep, and the end.
 use super::{EventLoop, LAST_WORDS};
+use crankpaddle_cross_zone_traffic::cross_zone_admission::PolicyChange;
 use crankpaddle_front::{AttemptId, Input};
 use crankpaddle_net::clock;
 use std::sync::atomic::Ordering;
@@ -19,7 +20,7 @@
 
     pub(super) fn look_at_traffic(&mut self, now: u64) {
         let orders = self.traffic.desk.tick(now);
-        for (lowered, sessions) in [(true, &orders.lower), (false, &orders.restore)] {
+        for (lowered, sessions) in [(true, &orders.cap), (false, &orders.uncap)] {
             for session in sessions {
                 tracing::info!(attempt = session, lowered, "for the budget between halls");
                 self.tell_core(Input::RateCapped(AttemptId(*session), lowered));
@@ -41,7 +42,12 @@
 
     /// Tells the core how classes may leave for other zones, where that changed.
     pub(super) fn tell_crossing(&mut self) {
-        for (zone, class, leave) in self.traffic.desk.policy_changes(clock::now()) {
+        for PolicyChange {
+            zone,
+            class,
+            policy: leave,
+        } in self.traffic.desk.policy_changes(clock::now())
+        {
             tracing::info!(zone, class, ?leave, "budget between halls");
             self.tell_core(Input::CrossZonePolicyChanged { zone, class, leave });
         }
--- a/crates/daemon/src/traffic.rs
+++ b/crates/daemon/src/traffic.rs
@@ -37,17 +37,17 @@
     let s = &config.settings;
     let class = |c: &crankpaddle::Class| TrafficClass {
         paid: c.idempotency == Idempotency::AtMostOnce,
-        kb: s.rung_kb.iter().map(|kb| kb * c.rate_factor).collect(),
+        rung_rates_kb: s.rung_kb.iter().map(|kb| kb * c.rate_factor).collect(),
     };
     TrafficConfig {
-        place: FrontPosition {
+        position: FrontPosition {
             index: s.front_index,
-            siblings: s.replica_count,
+            replica_count: s.replica_count,
         },
         zone: s.zone,
         classes: s.classes.iter().map(class).collect(),
         limits: config.budgets.clone(),
-        note_delay: s.update_delay,
+        report_delay: s.update_delay,
     }
 }
 
@@ -60,7 +60,7 @@
     };
     // A new zone, class, tenant or group at the end moves no number; the account knows the others by theirs.
     let moved = |old: &[String], new: &[String]| !new.starts_with(old);
-    if (before.place, before.zone) != (after.place, after.zone) {
+    if (before.position, before.zone) != (after.position, after.zone) {
         Some("front.index, front.siblings and front.zone")
     } else if moved(&old.zones, &new.zones) {
         Some("fleet.zone")
@@ -172,7 +172,7 @@
 
     /// Other budgets, and zones that were added; what was counted and is owed stays.
     pub(crate) fn change(&mut self, config: &Config) {
-        self.desk.change(terms(config));
+        self.desk.reconfigure(terms(config));
         self.names.zones.clone_from(&config.zones);
     }
 
--- a/crates/traffic-report/src/text.rs
+++ b/crates/traffic-report/src/text.rs
@@ -91,7 +91,7 @@
     }
     text.push_str(&format!(
         "\n\n{} sessions not settled yet, {} counts too late",
-        report.unsettled_sessions, report.too_late
+        report.unsettled_sessions, report.dropped_late_reports
     ));
     text
 }
@@ -113,13 +113,13 @@
         } else {
             "-".to_owned()
         },
-        format!("{:.3}", b.part),
+        format!("{:.3}", b.quota),
         b.level
             .map_or("-".to_owned(), |level| format!("{level:.2}")),
         bytes(b.overdraft_hall_lost_bytes),
         bytes(b.overdraft_hall_full_bytes),
         bytes(b.written_off_bytes),
-        b.lowered_sessions.to_string(),
+        b.capped_sessions.to_string(),
     ]
 }
 
@@ -140,7 +140,7 @@
             b.rate_kb,
             100.0 * used(b),
             bytes(b.overdraft_hall_lost_bytes + b.overdraft_hall_full_bytes),
-            b.lowered_sessions
+            b.capped_sessions
         )
     };
     let crossed: u64 = report
--- a/crates/traffic-report/src/text/tests.rs
+++ b/crates/traffic-report/src/text/tests.rs
@@ -21,14 +21,14 @@
         to: "north".into(),
         class: String::new(),
         rate_kb: 200.0,
-        part: 1.0,
+        quota: 1.0,
         level: None,
         paid_kb: 150.0,
         other_kb: 100.0,
         overdraft_hall_lost_bytes: 999,
         overdraft_hall_full_bytes: 0,
         written_off_bytes: 0,
-        lowered_sessions: 2,
+        capped_sessions: 2,
     };
     TrafficReport {
         flows: vec![flow],
--- a/crates/traffic-report/tests/printed_bytes.rs
+++ b/crates/traffic-report/tests/printed_bytes.rs
@@ -44,14 +44,14 @@
         to: "north".into(),
         class: class.into(),
         rate_kb,
-        part: 1.0 / 3.0,
+        quota: 1.0 / 3.0,
         level: (rate_kb > 0.0).then_some(0.777),
         paid_kb: 150.4,
         other_kb: 99.6,
         overdraft_hall_lost_bytes: 999,
         overdraft_hall_full_bytes: 123_456,
         written_off_bytes: 5_000_000_000,
-        lowered_sessions: 2,
+        capped_sessions: 2,
     }
 }
 
@@ -67,7 +67,7 @@
         ],
         budgets: vec![budget("", 2000.0), budget("paid", 0.0)],
         unsettled_sessions: 5,
-        too_late: 6,
+        dropped_late_reports: 6,
     }
 }
 
