Traffic report: short functions, typed errors with the same texts; admission in more modules

svg() and table() are taken apart into steps, drawing and source errors are enums with their sources, and the allowance for long functions goes. Policies, quotas and status of cross-zone admission stand in modules of their own.

--- a/crates/cli/src/traffic.rs
+++ b/crates/cli/src/traffic.rs
@@ -102,7 +102,10 @@
                 Form::Table => table(&report) + "\n",
                 Form::Csv => csv(&report),
                 Form::Json => serde_json::to_string_pretty(&report)? + "\n",
-                Form::Plot => svg(&report).map_err(|what| Failure { what, status: 1 })?,
+                Form::Plot => svg(&report).map_err(|e| Failure {
+                    what: e.to_string(),
+                    status: 1,
+                })?,
             };
             std::io::stdout().write_all(text.as_bytes())?;
             missing.iter().for_each(|what| eprintln!("missing: {what}"));
--- a/crates/cross-zone-traffic/src/cross_zone_admission/mod.rs
+++ b/crates/cross-zone-traffic/src/cross_zone_admission/mod.rs
@@ -6,7 +6,10 @@
 //! drained; for a bounded time, after which the rest is written off.
 mod budget_pool;
 mod crossing_session;
+mod policies;
+mod quotas;
 mod rate_caps;
+mod status;
 mod types;
 
 pub use crankpaddle::CrossZonePolicy;
@@ -15,27 +18,17 @@
 };
 
 use crate::budget::FrontPosition;
-use crate::quota_share::{ObservedUsage, UsageReports};
+use crate::quota_share::UsageReports;
 use crate::BYTES_PER_KB;
 use budget_pool::{BudgetKey, BudgetPool};
 use crossing_session::CrossingSession;
+use policies::ZoneClass;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Weight of a session that ended in the mean session length.
 const LENGTH_WEIGHT: f64 = 0.05;
 /// The shortest length that is assumed of a session, seconds.
 const MIN_SESSION_LENGTH: f64 = 0.1;
-/// The least rate that usage is divided by, kB a second; a budget may be 0.
-const MIN_BUDGET_RATE_KB: f64 = 1e-9;
-/// Classes are numbered in a byte.
-const MAX_CLASSES: usize = 256;
-
-/// A zone and a class that may be served from it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct ZoneClass {
-    zone: u8,
-    class: u8,
-}
 
 /// The traffic of one front, whose viewers are in one zone, from other zones.
 #[derive(Clone, Debug)]
@@ -128,71 +121,6 @@
             .map_or(0.0, |pool| pool.budget.level(now))
     }
 
-    /// How a class may be served from a zone now.
-    pub fn policy(&mut self, now: u64, zone: u8, class: u8) -> CrossZonePolicy {
-        let key = self.budget_key(zone, class);
-        let Some(pool) = key.and_then(|key| self.pools.get_mut(&key)) else {
-            return CrossZonePolicy::Allowed;
-        };
-        if !pool.update_shortage(now) && pool.budget.conforms(now, 0.0) {
-            return CrossZonePolicy::Allowed;
-        }
-        if self.is_paid(class) {
-            CrossZonePolicy::LastResort
-        } else {
-            CrossZonePolicy::Forbidden
-        }
-    }
-
-    /// The policies that changed since the previous call. Call it before requests are placed.
-    pub fn policy_changes(&mut self, now: u64) -> Vec<PolicyChange> {
-        let mut changes = Vec::new();
-        for key in self.policies_to_check() {
-            let ZoneClass { zone, class } = key;
-            let policy = self.policy(now, zone, class);
-            let previous = self.notified_policies.insert(key, policy);
-            if previous.unwrap_or_default() != policy {
-                changes.push(PolicyChange {
-                    zone,
-                    class,
-                    policy,
-                });
-            }
-        }
-        changes
-    }
-
-    /// Each class of each zone that has a budget, then what was notified of zones that have none any more.
-    fn policies_to_check(&self) -> Vec<ZoneClass> {
-        let zones = self.budgeted_zones();
-        let class_count = self.paid_classes.len().min(MAX_CLASSES) as u16;
-        let budgeted = zones.iter().flat_map(|zone| {
-            (0..class_count).map(|class| ZoneClass {
-                zone: *zone,
-                class: class as u8,
-            })
-        });
-        let no_longer_budgeted = self
-            .notified_policies
-            .keys()
-            .filter(|key| !zones.contains(&key.zone))
-            .copied();
-        budgeted.chain(no_longer_budgeted).collect()
-    }
-
-    /// A request of a class arrived: where a budget holds it back, this front has demand for more of it.
-    pub fn session_requested(&mut self, now: u64, class: u8) {
-        for zone in self.budgeted_zones() {
-            if self.policy(now, zone, class) == CrossZonePolicy::Allowed {
-                continue;
-            }
-            let key = self.budget_key(zone, class);
-            if let Some(pool) = key.and_then(|key| self.pools.get_mut(&key)) {
-                pool.quota_share.request_more(now);
-            }
-        }
-    }
-
     /// A session starts to cross; returns the bytes that were reserved beyond its budget.
     pub fn session_started(&mut self, now: u64, start: SessionStart) -> f64 {
         if self.sessions.contains_key(&start.session) {
@@ -299,20 +227,6 @@
         self.servers_up.entry(zone).or_default().remove(&server);
     }
 
-    /// Zones whose servers' reports this front needs now: it has demand for more than its quota of a budget, or holds more
-    /// than an equal one.
-    #[must_use]
-    pub fn zones_observed(&self, now: u64) -> BTreeSet<u8> {
-        let needs_reports = |pool: &BudgetPool| {
-            pool.quota_share.has_demand(now) || pool.quota_share.exceeds_equal_share()
-        };
-        self.pools
-            .iter()
-            .filter(|(_, pool)| needs_reports(pool))
-            .map(|(key, _)| key.zone)
-            .collect()
-    }
-
     /// Charges what flowed since the previous call, updates the quotas, and returns which sessions are to be capped or
     /// uncapped; call it about once a second.
     pub fn tick(&mut self, now: u64) -> RateCapChanges {
@@ -320,94 +234,4 @@
         self.update_quotas(now, &rate_by_budget);
         self.update_rate_caps(now)
     }
-
-    /// Charges each session for what it sent, and sums the rates, kB a second, by budget.
-    ///
-    /// Why not only at the end of a session: with the first expectation alone, sessions that end early give back at once
-    /// while long ones are charged only when they end, and for as long as that the fronts are over their budget together
-    /// (by a third, measured in a test).
-    fn charge_sessions(&mut self, now: u64) -> BTreeMap<BudgetKey, f64> {
-        let mut rate_by_budget: BTreeMap<BudgetKey, f64> = BTreeMap::new();
-        // One pass over all sessions: this runs between players' requests and their responses.
-        for session in self.sessions.values_mut() {
-            let pool = self.pools.get_mut(&session.budget);
-            session.continue_at(session.rate_kb, now, self.mean_session_length, pool);
-            *rate_by_budget.entry(session.budget).or_default() += session.rate_kb;
-        }
-        rate_by_budget
-    }
-
-    /// Updates this front's quota of each budget.
-    fn update_quotas(&mut self, now: u64, rate_by_budget: &BTreeMap<BudgetKey, f64>) {
-        for key in self.budget_keys() {
-            let all_fronts = self.usage_of_all_fronts(now, key);
-            let Some(pool) = self.pools.get_mut(&key) else {
-                continue;
-            };
-            let budget_rate_kb = pool.budget.shared().rate_kb.max(MIN_BUDGET_RATE_KB);
-            let own_rate_kb = rate_by_budget.get(&key).copied().unwrap_or(0.0);
-            let all_fronts = all_fronts.map(|observed| ObservedUsage {
-                at: observed.at,
-                usage: observed.usage / budget_rate_kb,
-            });
-            let own_usage = own_rate_kb / budget_rate_kb;
-            let quota = pool.quota_share.update(now, own_usage, all_fronts);
-            pool.budget.set_quota(now, quota);
-        }
-    }
-
-    /// kB a second that crosses under a budget for all fronts; `None` where a server that is up has no recent report.
-    fn usage_of_all_fronts(&self, now: u64, key: BudgetKey) -> Option<ObservedUsage> {
-        let applies_to = |class: u8| self.budget_key(key.zone, class) == Some(key);
-        let servers = self
-            .servers_up
-            .get(&key.zone)
-            .into_iter()
-            .flatten()
-            .copied();
-        match self.usage_reports.get(&key.zone) {
-            Some(reports) => reports.total(now, servers, applies_to),
-            None => UsageReports::default().total(now, servers, applies_to),
-        }
-    }
-
-    /// The state of each budget.
-    pub fn budget_statuses(&mut self, now: u64) -> Vec<BudgetStatus> {
-        self.budget_keys()
-            .into_iter()
-            .filter_map(|key| self.budget_status(now, key))
-            .collect()
-    }
-
-    fn budget_status(&mut self, now: u64, key: BudgetKey) -> Option<BudgetStatus> {
-        let level = self.budget_level(now, key);
-        let pool = self.pools.get(&key)?;
-        Some(BudgetStatus {
-            limit: CrossZoneLimit {
-                from: key.zone,
-                class: key.class,
-                shared: *pool.budget.shared(),
-            },
-            quota: pool.budget.quota(),
-            level,
-            paid_kb: self.crossing_rate_kb(key, true),
-            other_kb: self.crossing_rate_kb(key, false),
-            overdrafts: pool.overdrafts.clone(),
-            written_off: pool.budget.written_off(),
-            capped_sessions: self
-                .sessions_of(key)
-                .filter(|(_, session)| session.is_capped)
-                .count(),
-        })
-    }
-
-    /// kB a second that the paid, or the other, sessions under a budget send now.
-    fn crossing_rate_kb(&self, key: BudgetKey, is_paid: bool) -> f64 {
-        let rate_kb: f64 = self
-            .sessions_of(key)
-            .filter(|(_, session)| session.is_paid == is_paid)
-            .map(|(_, session)| session.rate_kb)
-            .sum();
-        rate_kb + 0.0 // The sum of nothing is -0.0, which reports must not show.
-    }
 }
--- /dev/null
+++ b/crates/cross-zone-traffic/src/cross_zone_admission/status.rs
@@ -0,0 +1,46 @@
+//! The state of each budget, for reports.
+use super::budget_pool::BudgetKey;
+use super::types::{BudgetStatus, CrossZoneLimit};
+use super::CrossZoneAdmission;
+
+impl CrossZoneAdmission {
+    /// The state of each budget.
+    pub fn budget_statuses(&mut self, now: u64) -> Vec<BudgetStatus> {
+        self.budget_keys()
+            .into_iter()
+            .filter_map(|key| self.budget_status(now, key))
+            .collect()
+    }
+
+    fn budget_status(&mut self, now: u64, key: BudgetKey) -> Option<BudgetStatus> {
+        let level = self.budget_level(now, key);
+        let pool = self.pools.get(&key)?;
+        Some(BudgetStatus {
+            limit: CrossZoneLimit {
+                from: key.zone,
+                class: key.class,
+                shared: *pool.budget.shared(),
+            },
+            quota: pool.budget.quota(),
+            level,
+            paid_kb: self.crossing_rate_kb(key, true),
+            other_kb: self.crossing_rate_kb(key, false),
+            overdrafts: pool.overdrafts.clone(),
+            written_off: pool.budget.written_off(),
+            capped_sessions: self
+                .sessions_of(key)
+                .filter(|(_, session)| session.is_capped)
+                .count(),
+        })
+    }
+
+    /// kB a second that the paid, or the other, sessions under a budget send now.
+    fn crossing_rate_kb(&self, key: BudgetKey, is_paid: bool) -> f64 {
+        let rate_kb: f64 = self
+            .sessions_of(key)
+            .filter(|(_, session)| session.is_paid == is_paid)
+            .map(|(_, session)| session.rate_kb)
+            .sum();
+        rate_kb + 0.0 // The sum of nothing is -0.0, which reports must not show.
+    }
+}
--- a/crates/traffic-report/src/lib.rs
+++ b/crates/traffic-report/src/lib.rs
@@ -1,12 +1,13 @@
-//! Reports of traffic between halls for operators: fetched from fronts or read from what they kept, put together, and
-//! shown as a table, CSV, JSON or a plot.
-#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
+//! Reports of traffic between zones for operators: fetched from fronts or loaded from their saved files, and printed as a
+//! table, CSV, or a plot.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+mod error;
 mod plot;
 mod source;
 mod text;
 
+pub use error::{PlotError, SourceError};
 pub use plot::svg;
-pub use source::{fetch, get, load, SourceError};
+pub use source::{fetch, get, load};
 pub use text::{csv, table, watch_line};
--- a/crates/traffic-report/src/plot.rs
+++ b/crates/traffic-report/src/plot.rs
@@ -1,94 +1,182 @@
-//! A report as a picture: what crossed in late minutes, by class, beside the budgets.
+//! A report as a plot: what crossed in recent minutes, by class, beside the budgets.
+use crate::PlotError;
 use crankpaddle_cross_zone_traffic::report::TrafficReport;
-use plotters::prelude::*;
+use plotters::chart::ChartContext;
+use plotters::coord::types::RangedCoordf64;
+use plotters::coord::Shift;
+use plotters::prelude::{
+    Cartesian2d, ChartBuilder, Color, DrawingArea, IntoDrawingArea, LineSeries, Palette, Palette99,
+    PathElement, SVGBackend, BLACK, WHITE,
+};
+use plotters::style::{RGBAColor, ShapeStyle};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Width and height, pixels.
 const SIZE: (u32, u32) = (960, 480);
+const MARGIN: u32 = 12;
+const CAPTION_FONT: (&str, u32) = ("sans-serif", 18);
+const X_LABELS_HEIGHT: u32 = 36;
+const Y_LABELS_WIDTH: u32 = 64;
+/// Length of a line's sample in the legend, pixels.
+const LEGEND_LINE_WIDTH: i32 = 16;
+const LINE_WIDTH: u32 = 2;
+const BUDGET_OPACITY: f64 = 0.5;
+const LEGEND_OPACITY: f64 = 0.8;
+/// The vertical axis exceeds the highest value by this factor.
+const TOP_MARGIN: f64 = 1.1;
+/// The vertical axis covers at least this much, kB a second.
+const MIN_TOP_KB: f64 = 1.0;
+/// The horizontal axis covers at least this much, minutes before the last one.
+const MIN_START: f64 = -1.0;
+
 const MINUTE_MS: u64 = 60_000;
+const SECONDS_PER_MINUTE: f64 = 60.0;
+const BYTES_PER_KB: f64 = 1000.0;
+
+type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+type Chart<'a, 'b> = ChartContext<'a, SVGBackend<'b>, Cartesian2d<RangedCoordf64, RangedCoordf64>>;
 
-/// An SVG of the rates that crossed over late minutes, one line a class and zone pair, budgets as level lines.
+/// A budget as a level line.
+struct BudgetLine {
+    label: String,
+    rate_kb: f64,
+}
+
+/// What is drawn.
+struct PlotData {
+    /// kB a second by the start of the minute, by label.
+    rate_lines: BTreeMap<String, BTreeMap<u64, f64>>,
+    budget_lines: Vec<BudgetLine>,
+    /// Starts of the minutes in which anything crossed, milliseconds since 1970.
+    minutes: BTreeSet<u64>,
+    first_minute: u64,
+    last_minute: u64,
+}
+
+/// An SVG of the rates that crossed over recent minutes, one line a class and zone pair, budgets as level lines.
 ///
 /// # Errors
-/// Nothing crossed in late minutes, or the picture could not be drawn.
-pub fn svg(report: &TrafficReport) -> Result<String, String> {
-    let mut lines: BTreeMap<String, BTreeMap<u64, f64>> = BTreeMap::new();
-    let mut minutes = BTreeSet::new();
-    for f in report.flows.iter().filter(|f| f.crosses) {
-        for m in &f.minutes {
-            let line = lines
-                .entry(format!("{} > {}, {}", f.from, f.to, f.class))
-                .or_default();
-            *line.entry(m.at_ms).or_default() += m.bytes as f64 / 1000.0 / 60.0;
-            minutes.insert(m.at_ms);
+/// Nothing crossed in recent minutes, or the plot could not be drawn.
+pub fn svg(report: &TrafficReport) -> Result<String, PlotError> {
+    let data = PlotData::new(report)?;
+    let mut text = String::new();
+    let area = SVGBackend::with_string(&mut text, SIZE).into_drawing_area();
+    draw(&area, &data)?;
+    drop(area);
+    Ok(text)
+}
+
+impl PlotData {
+    fn new(report: &TrafficReport) -> Result<PlotData, PlotError> {
+        let mut rate_lines: BTreeMap<String, BTreeMap<u64, f64>> = BTreeMap::new();
+        let mut minutes = BTreeSet::new();
+        for flow in report.flows.iter().filter(|flow| flow.crosses) {
+            for minute in &flow.minutes {
+                let label = format!("{} > {}, {}", flow.from, flow.to, flow.class);
+                let line = rate_lines.entry(label).or_default();
+                *line.entry(minute.at_ms).or_default() +=
+                    minute.bytes as f64 / BYTES_PER_KB / SECONDS_PER_MINUTE;
+                minutes.insert(minute.at_ms);
+            }
         }
+        let (Some(first), Some(last)) = (minutes.first().copied(), minutes.last().copied()) else {
+            return Err(PlotError::NothingCrossed);
+        };
+        Ok(PlotData {
+            rate_lines,
+            budget_lines: budget_lines(report),
+            minutes,
+            first_minute: first,
+            last_minute: last,
+        })
+    }
+
+    /// The position of a minute on the horizontal axis: minutes before the last one, as a negative number.
+    fn position(&self, at_ms: u64) -> f64 {
+        -(((self.last_minute - at_ms) / MINUTE_MS) as f64)
+    }
+
+    /// Where the horizontal axis starts.
+    fn start(&self) -> f64 {
+        self.position(self.first_minute).min(MIN_START)
+    }
+
+    /// Where the vertical axis ends, kB a second.
+    fn top(&self) -> f64 {
+        let rates = self
+            .rate_lines
+            .values()
+            .flat_map(|line| line.values().copied());
+        let budgets = self.budget_lines.iter().map(|line| line.rate_kb);
+        rates.chain(budgets).fold(MIN_TOP_KB, f64::max) * TOP_MARGIN
     }
-    let (Some(first), Some(last)) = (minutes.first().copied(), minutes.last().copied()) else {
-        return Err("nothing crossed in late minutes".into());
-    };
-    let budgets: Vec<(String, f64)> = report
+}
+
+fn budget_lines(report: &TrafficReport) -> Vec<BudgetLine> {
+    report
         .budgets
         .iter()
-        .map(|b| {
-            (
-                format!("budget {} > {} {}", b.from, b.to, b.class),
-                b.rate_kb,
-            )
+        .map(|budget| BudgetLine {
+            label: format!("budget {} > {} {}", budget.from, budget.to, budget.class),
+            rate_kb: budget.rate_kb,
         })
-        .collect();
-    let rates = lines.values().flat_map(|l| l.values().copied());
-    let top = rates
-        .chain(budgets.iter().map(|(_, kb)| *kb))
-        .fold(1.0, f64::max)
-        * 1.1;
-    let ago = |at_ms: u64| -(((last - at_ms) / MINUTE_MS) as f64);
-    let mut text = String::new();
-    let draw = |text: &mut String| -> Result<(), Box<dyn std::error::Error + '_>> {
-        let area = SVGBackend::with_string(text, SIZE).into_drawing_area();
-        area.fill(&WHITE).map_err(|e| e.to_string())?;
-        let mut chart = ChartBuilder::on(&area)
-            .margin(12)
-            .caption("Traffic between halls, kB/s", ("sans-serif", 18))
-            .x_label_area_size(36)
-            .y_label_area_size(64)
-            .build_cartesian_2d(ago(first).min(-1.0)..0.0, 0.0..top)
-            .map_err(|e| e.to_string())?;
-        chart
-            .configure_mesh()
-            .x_desc("minutes ago")
-            .draw()
-            .map_err(|e| e.to_string())?;
-        for (n, (name, line)) in lines.iter().enumerate() {
-            let colour = Palette99::pick(n).to_rgba();
-            let points = minutes
-                .iter()
-                .map(|at| (ago(*at), line.get(at).copied().unwrap_or(0.0)));
-            chart
-                .draw_series(LineSeries::new(points, colour.stroke_width(2)))
-                .map_err(|e| e.to_string())?
-                .label(name)
-                .legend(move |(x, y)| {
-                    PathElement::new([(x, y), (x + 16, y)], colour.stroke_width(2))
-                });
-        }
-        for (name, kb) in &budgets {
-            let points = [(ago(first).min(-1.0), *kb), (0.0, *kb)];
-            chart
-                .draw_series(LineSeries::new(points, BLACK.mix(0.5)))
-                .map_err(|e| e.to_string())?
-                .label(name)
-                .legend(|(x, y)| PathElement::new([(x, y), (x + 16, y)], BLACK.mix(0.5)));
-        }
-        chart
-            .configure_series_labels()
-            .background_style(WHITE.mix(0.8))
-            .border_style(BLACK)
-            .draw()
-            .map_err(|e| e.to_string())?;
-        area.present().map_err(|e| e.to_string())?;
-        Ok(())
-    };
-    draw(&mut text).map_err(|e| e.to_string())?;
-    Ok(text)
+        .collect()
+}
+
+fn draw(area: &Area<'_>, data: &PlotData) -> Result<(), PlotError> {
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(area)
+        .margin(MARGIN)
+        .caption("Traffic between halls, kB/s", CAPTION_FONT)
+        .x_label_area_size(X_LABELS_HEIGHT)
+        .y_label_area_size(Y_LABELS_WIDTH)
+        .build_cartesian_2d(data.start()..0.0, 0.0..data.top())?;
+    chart.configure_mesh().x_desc("minutes ago").draw()?;
+    draw_rates(&mut chart, data)?;
+    draw_budgets(&mut chart, data)?;
+    chart
+        .configure_series_labels()
+        .background_style(WHITE.mix(LEGEND_OPACITY))
+        .border_style(BLACK)
+        .draw()?;
+    area.present()?;
+    Ok(())
+}
+
+fn draw_rates(chart: &mut Chart<'_, '_>, data: &PlotData) -> Result<(), PlotError> {
+    for (index, (label, line)) in data.rate_lines.iter().enumerate() {
+        let colour: RGBAColor = Palette99::pick(index).to_rgba();
+        let points = data.minutes.iter().map(|at_ms| {
+            let rate_kb = line.get(at_ms).copied().unwrap_or(0.0);
+            (data.position(*at_ms), rate_kb)
+        });
+        let style = colour.stroke_width(LINE_WIDTH);
+        draw_line(chart, points, label, style)?;
+    }
+    Ok(())
+}
+
+fn draw_budgets(chart: &mut Chart<'_, '_>, data: &PlotData) -> Result<(), PlotError> {
+    for line in &data.budget_lines {
+        let points = [(data.start(), line.rate_kb), (0.0, line.rate_kb)];
+        let style = BLACK.mix(BUDGET_OPACITY).into();
+        draw_line(chart, points.into_iter(), &line.label, style)?;
+    }
+    Ok(())
+}
+
+/// Draws a line and its sample in the legend.
+fn draw_line(
+    chart: &mut Chart<'_, '_>,
+    points: impl Iterator<Item = (f64, f64)>,
+    label: &str,
+    style: ShapeStyle,
+) -> Result<(), PlotError> {
+    chart
+        .draw_series(LineSeries::new(points, style))?
+        .label(label)
+        .legend(move |(x, y)| PathElement::new([(x, y), (x + LEGEND_LINE_WIDTH, y)], style));
+    Ok(())
 }
 
 #[cfg(test)]
--- a/crates/traffic-report/src/source.rs
+++ b/crates/traffic-report/src/source.rs
@@ -1,95 +1,76 @@
-//! Where reports come from: a front's `GET /traffic`, or the file in which it keeps its account.
+//! Where reports come from: a front's `GET /traffic`, or the file in which it saves its report.
+use crate::SourceError;
 use crankpaddle_cross_zone_traffic::report::TrafficReport;
 use crankpaddle_http::body::Body;
 use crankpaddle_http::head::{self, Response};
-use std::fmt;
-use std::io::{self, Read, Write};
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::time::Duration;
 
-/// Bytes of a report at most.
-const MOST: usize = 64 << 20;
+/// Longest response that is read, bytes.
+const MAX_RESPONSE_BYTES: u64 = 64 << 20;
+/// The status of a successful response.
+const STATUS_OK: u16 = 200;
 
-/// Why there is no report.
-#[derive(Debug)]
-pub enum SourceError {
-    /// It could not be reached or read.
-    Io(io::Error),
-    /// It answered or held something else.
-    Other(String),
-}
-
-impl fmt::Display for SourceError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            SourceError::Io(e) => e.fmt(f),
-            SourceError::Other(what) => f.write_str(what),
-        }
-    }
-}
-
-impl std::error::Error for SourceError {}
-
-impl From<io::Error> for SourceError {
-    fn from(e: io::Error) -> SourceError {
-        SourceError::Io(e)
-    }
-}
-
-fn report(bytes: &[u8]) -> Result<TrafficReport, SourceError> {
-    serde_json::from_slice(bytes)
-        .map_err(|e| SourceError::Other(format!("is no report of traffic: {e}")))
+/// Fetches the report of a running front.
+///
+/// # Errors
+/// The front does not respond within the timeout, or not with a report.
+pub fn fetch(front: &SocketAddr, timeout: Duration) -> Result<TrafficReport, SourceError> {
+    let body = get(front, "/traffic", timeout)?;
+    Ok(serde_json::from_slice(&body)?)
 }
 
-/// Asks a front that runs.
+/// Loads the report that a front saved.
 ///
 /// # Errors
-/// It does not answer within the time, or not with a report.
-pub fn fetch(front: &SocketAddr, within: Duration) -> Result<TrafficReport, SourceError> {
-    report(&get(front, "/traffic", within)?)
+/// The file can't be read or holds no report.
+pub fn load(path: &Path) -> Result<TrafficReport, SourceError> {
+    let contents = std::fs::read(path)?;
+    Ok(serde_json::from_slice(&contents)?)
 }
 
-/// What a front that runs has at a path.
+/// The body of a running front's response at a path.
 ///
 /// # Errors
-/// It does not answer within the time, or not with status 200.
-pub fn get(front: &SocketAddr, path: &str, within: Duration) -> Result<Vec<u8>, SourceError> {
-    let mut stream = TcpStream::connect_timeout(front, within)?;
-    stream.set_read_timeout(Some(within))?;
-    stream.set_write_timeout(Some(within))?;
-    stream.write_all(&head::request(
-        "GET",
-        path,
-        &front.to_string(),
-        &[("connection", "close")],
-        b"",
-    ))?;
-    let mut answer = Vec::new();
-    stream.take(MOST as u64).read_to_end(&mut answer)?;
-    let other = |what: String| SourceError::Other(what);
-    let (response, at) = Response::parse(&answer)
-        .map_err(|bad| other(format!("answered no HTTP: {}", bad.what)))?
-        .ok_or_else(|| other("broke off within its answer".into()))?;
-    if response.status != 200 {
-        return Err(other(format!("answered with status {}", response.status)));
+/// The front does not respond within the timeout, or not with status 200.
+pub fn get(front: &SocketAddr, path: &str, timeout: Duration) -> Result<Vec<u8>, SourceError> {
+    let response = exchange(front, path, timeout)?;
+    parse_body(&response)
+}
+
+/// Sends a request and reads until the front closes the connection; each step within the timeout.
+fn exchange(front: &SocketAddr, path: &str, timeout: Duration) -> Result<Vec<u8>, SourceError> {
+    let mut stream = TcpStream::connect_timeout(front, timeout)?;
+    stream.set_read_timeout(Some(timeout))?;
+    stream.set_write_timeout(Some(timeout))?;
+    let close = [("connection", "close")];
+    let request = head::request("GET", path, &front.to_string(), &close, b"");
+    stream.write_all(&request)?;
+    let mut response = Vec::new();
+    stream.take(MAX_RESPONSE_BYTES).read_to_end(&mut response)?;
+    Ok(response)
+}
+
+/// The body of a complete response with status 200.
+fn parse_body(bytes: &[u8]) -> Result<Vec<u8>, SourceError> {
+    let parsed = Response::parse(bytes).map_err(SourceError::InvalidHttp)?;
+    let Some((response, head_length)) = parsed else {
+        return Err(SourceError::IncompleteResponse);
+    };
+    if response.status != STATUS_OK {
+        return Err(SourceError::UnexpectedStatus(response.status));
     }
-    let bad = |bad: head::Bad| other(format!("answered no HTTP: {}", bad.what));
-    let mut body = Body::new(response.framing().map_err(bad)?, MOST as u64).map_err(bad)?;
-    let mut data = Vec::new();
-    body.feed(&answer[at..], &mut data).map_err(bad)?;
+    let framing = response.framing().map_err(SourceError::InvalidHttp)?;
+    let mut body = Body::new(framing, MAX_RESPONSE_BYTES).map_err(SourceError::InvalidHttp)?;
+    let mut content = Vec::new();
+    body.feed(&bytes[head_length..], &mut content)
+        .map_err(SourceError::InvalidHttp)?;
     if !body.may_close() {
-        return Err(other("broke off within its answer".into()));
+        return Err(SourceError::IncompleteResponse);
     }
-    Ok(data)
-}
-
-/// Reads what a front kept of its account.
-///
-/// # Errors
-/// The file can't be read or holds no report.
-pub fn load(path: &Path) -> Result<TrafficReport, SourceError> {
-    report(&std::fs::read(path)?)
+    Ok(content)
 }
 
 #[cfg(test)]
--- a/crates/traffic-report/src/text.rs
+++ b/crates/traffic-report/src/text.rs
@@ -1,93 +1,97 @@
-//! Reports as text: tables to read, CSV to reckon with.
-use crankpaddle_cross_zone_traffic::report::{BudgetReport, FlowReport, TrafficReport};
+//! Reports as text: tables to read, and CSV to process.
+use crankpaddle_cross_zone_traffic::report::{BudgetReport, ByteTotals, FlowReport, TrafficReport};
 
-/// Bytes as a person reads them.
-fn bytes(n: u64) -> String {
-    let units = ["B", "kB", "MB", "GB", "TB", "PB"];
-    let mut value = n as f64;
+/// Units of byte counts, each 1,000 times the previous one.
+const BYTE_UNITS: [&str; 6] = ["B", "kB", "MB", "GB", "TB", "PB"];
+const UNIT_FACTOR: f64 = 1000.0;
+/// The least rate that usage is divided by, kB a second; a budget may be 0.
+const MIN_BUDGET_RATE_KB: f64 = 1e-9;
+
+const FLOW_COLUMNS: [&str; 9] = [
+    "FROM",
+    "TO",
+    "CLASS",
+    "TENANT",
+    "GROUP",
+    "FOR",
+    "CROSSES",
+    "BYTES",
+    "COUNTED BY SERVERS",
+];
+const BUDGET_COLUMNS: [&str; 13] = [
+    "FROM",
+    "TO",
+    "CLASS",
+    "BUDGET kB/s",
+    "PAID kB/s",
+    "REST kB/s",
+    "USED",
+    "PART",
+    "DEBT",
+    "OVER: HALL LOST",
+    "OVER: HALL FULL",
+    "WRITTEN OFF",
+    "LOWERED",
+];
+const CSV_HEADER: &str = "from,to,class,tenant,group,purpose,crosses,hour_ms,bytes,measured_bytes,\
+                          corrected_bytes,estimated_bytes,overstated_bytes";
+
+/// Bytes in the largest unit in which they are at least 1.
+fn readable_bytes(bytes: u64) -> String {
+    let mut value = bytes as f64;
     let mut unit = 0;
-    while value >= 1000.0 && unit + 1 < units.len() {
-        (value, unit) = (value / 1000.0, unit + 1);
+    while value >= UNIT_FACTOR && unit + 1 < BYTE_UNITS.len() {
+        value /= UNIT_FACTOR;
+        unit += 1;
     }
     if unit == 0 {
-        format!("{n} B")
+        format!("{bytes} B")
     } else {
-        format!("{value:.1} {}", units[unit])
+        format!("{value:.1} {}", BYTE_UNITS[unit])
     }
 }
 
-/// Lines of cells, the columns as wide as they must be.
-fn columns(head: &[&str], rows: &[Vec<String>]) -> String {
-    let mut wide: Vec<usize> = head.iter().map(|h| h.chars().count()).collect();
+/// Lines of cells under a header, each column as wide as its widest cell.
+fn columns(header: &[&str], rows: &[Vec<String>]) -> String {
+    let header: Vec<String> = header.iter().map(|cell| (*cell).to_owned()).collect();
+    let widths = column_widths(&header, rows);
+    let mut lines = vec![padded_line(&header, &widths)];
+    lines.extend(rows.iter().map(|row| padded_line(row, &widths)));
+    lines.join("\n")
+}
+
+fn column_widths(header: &[String], rows: &[Vec<String>]) -> Vec<usize> {
+    let mut widths: Vec<usize> = header.iter().map(|cell| cell.chars().count()).collect();
     for row in rows {
-        row.iter()
-            .zip(&mut wide)
-            .for_each(|(cell, w)| *w = (*w).max(cell.chars().count()));
+        for (cell, width) in row.iter().zip(&mut widths) {
+            *width = (*width).max(cell.chars().count());
+        }
     }
-    let line = |cells: Vec<String>| {
-        let padded = cells
-            .iter()
-            .zip(&wide)
-            .map(|(cell, w)| format!("{cell:<w$}"));
-        padded.collect::<Vec<_>>().join("  ").trim_end().to_owned()
-    };
-    let mut lines = vec![line(head.iter().map(|h| (*h).to_owned()).collect())];
-    lines.extend(rows.iter().map(|row| line(row.clone())));
-    lines.join("\n")
+    widths
+}
+
+fn padded_line(cells: &[String], widths: &[usize]) -> String {
+    let padded: Vec<String> = cells
+        .iter()
+        .zip(widths)
+        .map(|(cell, width)| format!("{cell:<width$}"))
+        .collect();
+    padded.join("  ").trim_end().to_owned()
 }
 
-fn dash(text: &str) -> String {
+fn text_or_dash(text: &str) -> String {
     if text.is_empty() { "-" } else { text }.to_owned()
 }
 
-/// Flows, budgets and what must be known of them, to be read.
+/// The flows and budgets as tables, and what is not settled yet.
+#[must_use]
 pub fn table(report: &TrafficReport) -> String {
-    let flow = |f: &FlowReport| {
-        let known =
-            f.measured_bytes.saturating_sub(f.overstated_bytes) as f64 / f.bytes.max(1) as f64;
-        vec![
-            f.from.clone(),
-            f.to.clone(),
-            f.class.clone(),
-            dash(&f.tenant),
-            dash(&f.group),
-            f.purpose.clone(),
-            if f.crosses { "yes" } else { "" }.to_owned(),
-            bytes(f.bytes),
-            format!("{:.1}%", 100.0 * known.min(1.0)),
-        ]
-    };
-    let head = [
-        "FROM",
-        "TO",
-        "CLASS",
-        "TENANT",
-        "GROUP",
-        "FOR",
-        "CROSSES",
-        "BYTES",
-        "COUNTED BY SERVERS",
-    ];
-    let mut text = columns(&head, &report.flows.iter().map(flow).collect::<Vec<_>>());
+    let flow_rows: Vec<_> = report.flows.iter().map(flow_row).collect();
+    let mut text = columns(&FLOW_COLUMNS, &flow_rows);
     if !report.budgets.is_empty() {
-        let head = [
-            "FROM",
-            "TO",
-            "CLASS",
-            "BUDGET kB/s",
-            "PAID kB/s",
-            "REST kB/s",
-            "USED",
-            "PART",
-            "DEBT",
-            "OVER: HALL LOST",
-            "OVER: HALL FULL",
-            "WRITTEN OFF",
-            "LOWERED",
-        ];
-        let rows: Vec<_> = report.budgets.iter().map(budget).collect();
+        let budget_rows: Vec<_> = report.budgets.iter().map(budget_row).collect();
         text.push_str("\n\n");
-        text.push_str(&columns(&head, &rows));
+        text.push_str(&columns(&BUDGET_COLUMNS, &budget_rows));
     }
     text.push_str(&format!(
         "\n\n{} sessions not settled yet, {} counts too late",
@@ -96,66 +100,92 @@
     text
 }
 
-fn used(b: &BudgetReport) -> f64 {
-    (b.paid_kb + b.other_kb) / b.rate_kb.max(1e-9)
+fn flow_row(flow: &FlowReport) -> Vec<String> {
+    vec![
+        flow.from.clone(),
+        flow.to.clone(),
+        flow.class.clone(),
+        text_or_dash(&flow.tenant),
+        text_or_dash(&flow.group),
+        flow.purpose.clone(),
+        if flow.crosses { "yes" } else { "" }.to_owned(),
+        readable_bytes(flow.bytes),
+        format!("{:.1}%", 100.0 * measured_fraction(flow)),
+    ]
+}
+
+/// The fraction of a flow's bytes that servers counted, 0 to 1.
+fn measured_fraction(flow: &FlowReport) -> f64 {
+    let measured = flow.measured_bytes.saturating_sub(flow.overstated_bytes);
+    (measured as f64 / flow.bytes.max(1) as f64).min(1.0)
 }
 
-fn budget(b: &BudgetReport) -> Vec<String> {
+fn budget_row(budget: &BudgetReport) -> Vec<String> {
     vec![
-        b.from.clone(),
-        b.to.clone(),
-        dash(&b.class),
-        format!("{:.0}", b.rate_kb),
-        format!("{:.0}", b.paid_kb),
-        format!("{:.0}", b.other_kb),
-        if b.rate_kb > 0.0 {
-            format!("{:.0}%", 100.0 * used(b))
+        budget.from.clone(),
+        budget.to.clone(),
+        text_or_dash(&budget.class),
+        format!("{:.0}", budget.rate_kb),
+        format!("{:.0}", budget.paid_kb),
+        format!("{:.0}", budget.other_kb),
+        if budget.rate_kb > 0.0 {
+            format!("{:.0}%", used_percent(budget))
         } else {
             "-".to_owned()
         },
-        format!("{:.3}", b.quota),
-        b.level
+        format!("{:.3}", budget.quota),
+        budget
+            .level
             .map_or("-".to_owned(), |level| format!("{level:.2}")),
-        bytes(b.overdraft_hall_lost_bytes),
-        bytes(b.overdraft_hall_full_bytes),
-        bytes(b.written_off_bytes),
-        b.capped_sessions.to_string(),
+        readable_bytes(budget.overdraft_hall_lost_bytes),
+        readable_bytes(budget.overdraft_hall_full_bytes),
+        readable_bytes(budget.written_off_bytes),
+        budget.capped_sessions.to_string(),
     ]
 }
 
-/// One line for each budget, as it stands now.
+fn used_percent(budget: &BudgetReport) -> f64 {
+    let used_kb = budget.paid_kb + budget.other_kb;
+    100.0 * (used_kb / budget.rate_kb.max(MIN_BUDGET_RATE_KB))
+}
+
+/// One line for each budget and its present use.
+#[must_use]
 pub fn watch_line(report: &TrafficReport) -> String {
-    let line = |b: &BudgetReport| {
-        let class = if b.class.is_empty() {
-            String::new()
-        } else {
-            format!(" {}", b.class)
-        };
-        format!(
-            "{} > {}{class}: paid {:.0} rest {:.0} of {:.0} kB/s ({:.0}%), over {}, lowered {}",
-            b.from,
-            b.to,
-            b.paid_kb,
-            b.other_kb,
-            b.rate_kb,
-            100.0 * used(b),
-            bytes(b.overdraft_hall_lost_bytes + b.overdraft_hall_full_bytes),
-            b.capped_sessions
-        )
-    };
-    let crossed: u64 = report
-        .flows
-        .iter()
-        .filter(|f| f.crosses)
-        .map(|f| f.bytes)
-        .sum();
-    let mut lines: Vec<String> = report.budgets.iter().map(line).collect();
-    if lines.is_empty() {
-        lines.push(format!("no budgets; crossed so far {}", bytes(crossed)));
+    if report.budgets.is_empty() {
+        let crossed: u64 = report
+            .flows
+            .iter()
+            .filter(|flow| flow.crosses)
+            .map(|flow| flow.bytes)
+            .sum();
+        return format!("no budgets; crossed so far {}", readable_bytes(crossed));
     }
+    let lines: Vec<String> = report.budgets.iter().map(budget_line).collect();
     lines.join("\n")
 }
 
+fn budget_line(budget: &BudgetReport) -> String {
+    let class = if budget.class.is_empty() {
+        String::new()
+    } else {
+        format!(" {}", budget.class)
+    };
+    let overdraft = budget.overdraft_hall_lost_bytes + budget.overdraft_hall_full_bytes;
+    format!(
+        "{} > {}{class}: paid {:.0} rest {:.0} of {:.0} kB/s ({:.0}%), over {}, lowered {}",
+        budget.from,
+        budget.to,
+        budget.paid_kb,
+        budget.other_kb,
+        budget.rate_kb,
+        used_percent(budget),
+        readable_bytes(overdraft),
+        budget.capped_sessions
+    )
+}
+
+/// A CSV cell, quoted where RFC 4180 requires it.
 fn quoted(cell: &str) -> String {
     if cell.contains([',', '"', '\n', '\r']) {
         format!("\"{}\"", cell.replace('"', "\"\""))
@@ -164,32 +194,45 @@
     }
 }
 
-/// Bytes of each flow by hour, and in all (without an hour), as RFC 4180 has CSV.
+/// Bytes of each flow in all (without an hour) and by hour, as CSV according to RFC 4180.
+#[must_use]
 pub fn csv(report: &TrafficReport) -> String {
-    let mut lines = vec![
-        "from,to,class,tenant,group,purpose,crosses,hour_ms,bytes,measured_bytes,\
-                          corrected_bytes,estimated_bytes,overstated_bytes"
-            .to_owned(),
-    ];
-    for f in &report.flows {
-        let names = [&f.from, &f.to, &f.class, &f.tenant, &f.group, &f.purpose]
-            .map(|n| quoted(n))
-            .join(",");
-        let kinds = [
-            f.measured_bytes,
-            f.corrected_bytes,
-            f.estimated_bytes,
-            f.overstated_bytes,
-        ];
-        let kinds = kinds.map(|n| n.to_string()).join(",");
-        lines.push(format!("{names},{},,{},{kinds}", f.crosses, f.bytes));
-        let hour = |h: &crankpaddle_cross_zone_traffic::report::ByteTotals| {
-            format!("{names},{},{},{},,,,", f.crosses, h.at_ms, h.bytes)
-        };
-        lines.extend(f.hours.iter().map(hour));
+    let mut lines = vec![CSV_HEADER.to_owned()];
+    for flow in &report.flows {
+        let names = csv_names(flow);
+        lines.push(csv_total(&names, flow));
+        lines.extend(flow.hours.iter().map(|hour| csv_hour(&names, flow, hour)));
     }
     lines.join("\r\n") + "\r\n"
 }
 
+fn csv_names(flow: &FlowReport) -> String {
+    [
+        &flow.from,
+        &flow.to,
+        &flow.class,
+        &flow.tenant,
+        &flow.group,
+        &flow.purpose,
+    ]
+    .map(|name| quoted(name))
+    .join(",")
+}
+
+fn csv_total(names: &str, flow: &FlowReport) -> String {
+    let by_source = [
+        flow.measured_bytes,
+        flow.corrected_bytes,
+        flow.estimated_bytes,
+        flow.overstated_bytes,
+    ];
+    let by_source = by_source.map(|bytes| bytes.to_string()).join(",");
+    format!("{names},{},,{},{by_source}", flow.crosses, flow.bytes)
+}
+
+fn csv_hour(names: &str, flow: &FlowReport, hour: &ByteTotals) -> String {
+    format!("{names},{},{},{},,,,", flow.crosses, hour.at_ms, hour.bytes)
+}
+
 #[cfg(test)]
 mod tests;
