Traffic reports: overdraft fields named after zones; test names in the field's terms

The Rust fields overdraft_hall_* become overdraft_zone_*; the published JSON names stay by serde renames.

--- a/crates/cli/src/lab/mod.rs
+++ b/crates/cli/src/lab/mod.rs
@@ -402,7 +402,7 @@
     eprintln!("crossing: at most {all:.0} kB/s over {OVER} s, {rest:.0} of it not paid for");
     let budget: f64 = outcome.told.budgets.iter().map(|b| b.rate_kb).sum();
     for b in &outcome.told.budgets {
-        let over = b.overdraft_hall_lost_bytes + b.overdraft_hall_full_bytes;
+        let over = b.overdraft_zone_down_bytes + b.overdraft_zone_full_bytes;
         let (from, to, off) = (&b.from, &b.to, b.written_off_bytes);
         eprintln!(
             "budget {from} > {to}: {:.0} kB/s, overdrafts {over}, written off {off} bytes",
--- a/crates/cross-zone-traffic/src/report/build.rs
+++ b/crates/cross-zone-traffic/src/report/build.rs
@@ -49,8 +49,8 @@
         level: status.level.is_finite().then_some(status.level),
         paid_kb: status.paid_kb,
         other_kb: status.other_kb,
-        overdraft_hall_lost_bytes: overdraft_bytes(status, CapReason::LocalZoneDown),
-        overdraft_hall_full_bytes: overdraft_bytes(status, CapReason::LocalZoneFull),
+        overdraft_zone_down_bytes: overdraft_bytes(status, CapReason::LocalZoneDown),
+        overdraft_zone_full_bytes: overdraft_bytes(status, CapReason::LocalZoneFull),
         written_off_bytes: status.written_off as u64,
         capped_sessions: status.capped_sessions as u64,
     }
--- a/crates/cross-zone-traffic/src/report/merge.rs
+++ b/crates/cross-zone-traffic/src/report/merge.rs
@@ -119,8 +119,8 @@
         self.level = self.level.into_iter().chain(other.level).reduce(f64::max);
         self.paid_kb += other.paid_kb;
         self.other_kb += other.other_kb;
-        self.overdraft_hall_lost_bytes += other.overdraft_hall_lost_bytes;
-        self.overdraft_hall_full_bytes += other.overdraft_hall_full_bytes;
+        self.overdraft_zone_down_bytes += other.overdraft_zone_down_bytes;
+        self.overdraft_zone_full_bytes += other.overdraft_zone_full_bytes;
         self.written_off_bytes += other.written_off_bytes;
         self.capped_sessions += other.capped_sessions;
     }
--- a/crates/cross-zone-traffic/src/report/types.rs
+++ b/crates/cross-zone-traffic/src/report/types.rs
@@ -73,9 +73,11 @@
     /// The rest.
     pub other_kb: f64,
     /// Bytes beyond it because no server of the own hall was up.
-    pub overdraft_hall_lost_bytes: u64,
+    #[serde(rename = "overdraft_hall_lost_bytes")] // The published name.
+    pub overdraft_zone_down_bytes: u64,
     /// Bytes beyond it because the own hall had no room or not the title.
-    pub overdraft_hall_full_bytes: u64,
+    #[serde(rename = "overdraft_hall_full_bytes")] // The published name.
+    pub overdraft_zone_full_bytes: u64,
     /// Bytes of debt that were not repaid in its time.
     pub written_off_bytes: u64,
     /// Sessions at their lowest rung for it now.
--- a/crates/cross-zone-traffic/src/usage_accounting/session_usage.rs
+++ b/crates/cross-zone-traffic/src/usage_accounting/session_usage.rs
@@ -194,7 +194,7 @@
     fn settle_step(&mut self, step: SettlementStep, totals: &mut TotalsByFlow) {
         let start = self.settled_until;
         self.byte_fraction += step.bytes;
-        let whole_bytes = if step.ends_at_count {
+        let integer_bytes = if step.ends_at_count {
             // Up to a count the sum is an integer; only rounding errors make it less.
             self.byte_fraction.round()
         } else {
@@ -203,9 +203,9 @@
         self.byte_fraction = if step.ends_at_count {
             0.0
         } else {
-            self.byte_fraction - whole_bytes
+            self.byte_fraction - integer_bytes
         };
-        self.add_to_totals(totals, step.source, start, whole_bytes as u64);
+        self.add_to_totals(totals, step.source, start, integer_bytes as u64);
         self.settled_until = step.end;
     }
 
--- a/crates/cross-zone-traffic/tests/traffic_controller.rs
+++ b/crates/cross-zone-traffic/tests/traffic_controller.rs
@@ -134,24 +134,24 @@
     play(&mut controller, 2, 11, PAID, START);
     let full = report(&mut controller, START).budgets.remove(0);
     assert!(
-        full.overdraft_hall_full_bytes > 0 && full.overdraft_hall_lost_bytes == 0,
+        full.overdraft_zone_full_bytes > 0 && full.overdraft_zone_down_bytes == 0,
         "{full:?}"
     );
     controller.server_lost(1);
     controller.server_lost(2);
     play(&mut controller, 3, 11, PAID, START);
     let lost = report(&mut controller, START).budgets.remove(0);
-    assert!(lost.overdraft_hall_lost_bytes > 0, "{lost:?}");
+    assert!(lost.overdraft_zone_down_bytes > 0, "{lost:?}");
     assert_eq!(
-        lost.overdraft_hall_full_bytes,
-        full.overdraft_hall_full_bytes
+        lost.overdraft_zone_full_bytes,
+        full.overdraft_zone_full_bytes
     );
     // A server that a message is received from is up again, whatever the endpoint list states meanwhile.
     controller.server_connected(1, START);
     play(&mut controller, 4, 11, PAID, START);
     assert!(
-        report(&mut controller, START).budgets[0].overdraft_hall_full_bytes
-            > full.overdraft_hall_full_bytes
+        report(&mut controller, START).budgets[0].overdraft_zone_full_bytes
+            > full.overdraft_zone_full_bytes
     );
 }
 
--- a/crates/daemon/tests/traffic.rs
+++ b/crates/daemon/tests/traffic.rs
@@ -102,7 +102,7 @@
     wait("the sessions to be over", || rig.daemon.counts() == (0, 0));
     wait("the front to know that its hall is gone", || {
         servers(&rig, PAID, &format!("probing-{}", rig.seen(|_| true)), 1);
-        report(rig.daemon.address()).budgets[0].overdraft_hall_lost_bytes > 0
+        report(rig.daemon.address()).budgets[0].overdraft_zone_down_bytes > 0
     });
     let paid = servers(&rig, PAID, "paid", 6);
     assert!(paid.len() == 6 && paid.iter().all(south), "{paid:?}");
--- a/crates/traffic-report/src/plot.rs
+++ b/crates/traffic-report/src/plot.rs
@@ -14,6 +14,8 @@
 /// Width and height, pixels.
 const SIZE: (u32, u32) = (960, 480);
 const MARGIN: u32 = 12;
+/// As printed so far: users call zones halls.
+const CAPTION: &str = "Traffic between halls, kB/s";
 const CAPTION_FONT: (&str, u32) = ("sans-serif", 18);
 const X_LABELS_HEIGHT: u32 = 36;
 const Y_LABELS_WIDTH: u32 = 64;
@@ -127,7 +129,7 @@
     area.fill(&WHITE)?;
     let mut chart = ChartBuilder::on(area)
         .margin(MARGIN)
-        .caption("Traffic between halls, kB/s", CAPTION_FONT)
+        .caption(CAPTION, CAPTION_FONT)
         .x_label_area_size(X_LABELS_HEIGHT)
         .y_label_area_size(Y_LABELS_WIDTH)
         .build_cartesian_2d(data.start()..0.0, 0.0..data.top())?;
--- a/crates/traffic-report/src/source/tests.rs
+++ b/crates/traffic-report/src/source/tests.rs
@@ -1,22 +1,22 @@
 use super::*;
 use std::net::TcpListener;
 
-/// Answers one request with these bytes.
-fn answering(bytes: &'static [u8]) -> SocketAddr {
+/// A server that responds to one request with these bytes.
+fn serve_once(bytes: &'static [u8]) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     std::thread::spawn(move || {
         let (mut stream, _) = listener.accept().unwrap();
-        let mut asked = [0u8; 512];
-        let _ = stream.read(&mut asked); // What is asked for does not matter here.
+        let mut request = [0u8; 512];
+        let _ = stream.read(&mut request); // The request does not matter here.
         stream.write_all(bytes).unwrap();
     });
     address
 }
 
 #[test]
-fn what_is_no_report_is_said_and_never_taken_for_an_empty_one() {
-    for (bytes, said) in [
+fn a_response_without_a_report_is_an_error_and_never_taken_for_an_empty_report() {
+    for (bytes, expected) in [
         (
             &b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n"[..],
             "status 503",
@@ -32,13 +32,13 @@
         (b"HTTP/1.1 200", "broke off"),
         (b"nonsense\r\n\r\n", "no HTTP"),
     ] {
-        let e = fetch(&answering(bytes), Duration::from_secs(5))
+        let error = fetch(&serve_once(bytes), Duration::from_secs(5))
             .unwrap_err()
             .to_string();
-        assert!(e.contains(said), "{said}: {e}");
+        assert!(error.contains(expected), "{expected}: {error}");
     }
-    let whole = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4e\r\n\
+    let complete = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4e\r\n\
         {\"front\":3,\"at_ms\":7,\"flows\":[],\"budgets\":[],\"unsettled_sessions\":0,\"too_late\"\r\n3\r\n:0}\r\n0\r\n\r\n";
-    let report = fetch(&answering(whole), Duration::from_secs(5)).unwrap();
+    let report = fetch(&serve_once(complete), Duration::from_secs(5)).unwrap();
     assert_eq!((report.front, report.at_ms), (3, 7));
 }
--- a/crates/traffic-report/src/text.rs
+++ b/crates/traffic-report/src/text.rs
@@ -7,6 +7,7 @@
 /// The least rate that usage is divided by, kB a second; a budget may be 0.
 const MIN_BUDGET_RATE_KB: f64 = 1e-9;
 
+// The columns and words that are printed are those of the users' documentation and stay as they are.
 const FLOW_COLUMNS: [&str; 9] = [
     "FROM",
     "TO",
@@ -137,8 +138,8 @@
         budget
             .level
             .map_or("-".to_owned(), |level| format!("{level:.2}")),
-        readable_bytes(budget.overdraft_hall_lost_bytes),
-        readable_bytes(budget.overdraft_hall_full_bytes),
+        readable_bytes(budget.overdraft_zone_down_bytes),
+        readable_bytes(budget.overdraft_zone_full_bytes),
         readable_bytes(budget.written_off_bytes),
         budget.capped_sessions.to_string(),
     ]
@@ -171,7 +172,7 @@
     } else {
         format!(" {}", budget.class)
     };
-    let overdraft = budget.overdraft_hall_lost_bytes + budget.overdraft_hall_full_bytes;
+    let overdraft = budget.overdraft_zone_down_bytes + budget.overdraft_zone_full_bytes;
     format!(
         "{} > {}{class}: paid {:.0} rest {:.0} of {:.0} kB/s ({:.0}%), over {}, lowered {}",
         budget.from,
--- a/crates/traffic-report/src/text/tests.rs
+++ b/crates/traffic-report/src/text/tests.rs
@@ -25,8 +25,8 @@
         level: None,
         paid_kb: 150.0,
         other_kb: 100.0,
-        overdraft_hall_lost_bytes: 999,
-        overdraft_hall_full_bytes: 0,
+        overdraft_zone_down_bytes: 999,
+        overdraft_zone_full_bytes: 0,
         written_off_bytes: 0,
         capped_sessions: 2,
     };
@@ -38,7 +38,7 @@
 }
 
 #[test]
-fn tables_align_and_name_what_is_used() {
+fn tables_align_and_show_the_usage_of_budgets() {
     let text = table(&report());
     let lines: Vec<&str> = text.lines().collect();
     let at = lines[0].find("BYTES").unwrap();
@@ -54,7 +54,7 @@
 }
 
 #[test]
-fn csv_quotes_what_must_be_and_every_line_has_the_same_fields() {
+fn csv_quotes_where_required_and_every_line_has_the_same_fields() {
     let text = csv(&report());
     assert_eq!(text.matches("\r\n").count(), 3);
     assert!(
--- a/crates/traffic-report/tests/printed_bytes.rs
+++ b/crates/traffic-report/tests/printed_bytes.rs
@@ -48,8 +48,8 @@
         level: (rate_kb > 0.0).then_some(0.777),
         paid_kb: 150.4,
         other_kb: 99.6,
-        overdraft_hall_lost_bytes: 999,
-        overdraft_hall_full_bytes: 123_456,
+        overdraft_zone_down_bytes: 999,
+        overdraft_zone_full_bytes: 123_456,
         written_off_bytes: 5_000_000_000,
         capped_sessions: 2,
     }
