Cross-zone traffic: quota share and budget internals are private to the crate

Nothing outside uses them. The sum of all overdrafts of a budget, which nothing read, goes; the sums by cause stay.

--- a/crates/cross-zone-traffic/src/budget.rs
+++ b/crates/cross-zone-traffic/src/budget.rs
@@ -3,7 +3,7 @@
 //! The rate is held by the generic cell rate algorithm in its leaky-bucket form (ITU-T I.371, continuous-state leaky
 //! bucket), in bytes: what a session is expected to send is added to the debt when it starts, what it did not send is
 //! taken off when it ends, and the debt drains at this front's quota of the rate. A session conforms while the debt is
-//! within this front's quota of the burst. [`crate::quota_share`] determines that quota.
+//! within this front's quota of the burst. The module `quota_share` determines that quota.
 //!
 //! How far off fronts can be: over by no more than the burst and one session for each front that has just started, and
 //! by what chance makes sessions longer than the mean (what flows is charged as it flows, and the expected rest is
@@ -42,7 +42,7 @@
 impl FrontPosition {
     /// The quota of a front that knows nothing of the load on the others, 0 to 1.
     #[must_use]
-    pub fn equal_quota(&self) -> f64 {
+    pub(crate) fn equal_quota(&self) -> f64 {
         1.0 / f64::from(self.replica_count.max(1))
     }
 }
@@ -62,7 +62,6 @@
     /// Number of the present period.
     current_period: u64,
     used_in_period: f64,
-    total_overdraft: f64,
     written_off: f64,
 }
 
@@ -80,20 +79,19 @@
             has_reserved: false,
             current_period: 0,
             used_in_period: 0.0,
-            total_overdraft: 0.0,
             written_off: 0.0,
         }
     }
 
     /// What all fronts share.
     #[must_use]
-    pub fn shared(&self) -> &SharedBudget {
+    pub(crate) fn shared(&self) -> &SharedBudget {
         &self.shared
     }
 
     /// This front's quota, 0 to 1.
     #[must_use]
-    pub fn quota(&self) -> f64 {
+    pub(crate) fn quota(&self) -> f64 {
         self.quota
     }
 
@@ -101,7 +99,7 @@
     ///
     /// Why: a 240th of the rate would take hours to repay what the whole of it could owe. What is remitted was sent
     /// beyond the new quota, but within the old one.
-    pub fn set_quota(&mut self, now: u64, quota: f64) {
+    pub(crate) fn set_quota(&mut self, now: u64, quota: f64) {
         self.advance_clock(now, 0.0);
         let previous = std::mem::replace(&mut self.quota, quota.clamp(0.0, 1.0));
         if self.quota < previous {
@@ -213,13 +211,12 @@
         let overdrawn = if conforms { 0.0 } else { expected };
         self.conforming_debt += expected - overdrawn;
         self.overdraft_debt += overdrawn;
-        self.total_overdraft += overdrawn;
         overdrawn
     }
 
     /// Corrects a reservation of `expected` bytes: the session sent `sent` bytes in all, or is now expected to.
     /// `overdrawn`: it was reserved beyond the budget.
-    pub fn correct(&mut self, now: u64, expected: f64, sent: f64, overdrawn: bool) {
+    pub(crate) fn correct(&mut self, now: u64, expected: f64, sent: f64, overdrawn: bool) {
         self.advance_clock(now, 0.0);
         let difference = sent - expected;
         self.used_in_period = (self.used_in_period + difference).max(0.0);
@@ -233,31 +230,22 @@
             *other_debt = (*other_debt + *own_debt).max(0.0);
             *own_debt = 0.0;
         }
-        if overdrawn {
-            self.total_overdraft = (self.total_overdraft + difference).max(0.0);
-        }
     }
 
     /// Charges bytes that were overdrawn in another budget and are repaid in this one.
-    pub fn charge(&mut self, now: u64, bytes: f64) {
+    pub(crate) fn charge(&mut self, now: u64, bytes: f64) {
         self.advance_clock(now, 0.0);
         self.overdraft_debt += bytes.max(0.0);
     }
 
-    /// Bytes that were reserved beyond the budget so far.
-    #[must_use]
-    pub fn overdraft(&self) -> f64 {
-        self.total_overdraft
-    }
-
     /// Bytes of debt that were written off so far.
     #[must_use]
-    pub fn written_off(&self) -> f64 {
+    pub(crate) fn written_off(&self) -> f64 {
         self.written_off
     }
 
     /// Changes the shared budget and the position; what was used, owed and overdrawn stays.
-    pub fn reconfigure(&mut self, shared: SharedBudget, position: FrontPosition) {
+    pub(crate) fn reconfigure(&mut self, shared: SharedBudget, position: FrontPosition) {
         if self.position != position {
             self.quota = position.equal_quota();
         }
--- a/crates/cross-zone-traffic/src/lib.rs
+++ b/crates/cross-zone-traffic/src/lib.rs
@@ -3,7 +3,7 @@
 //! - [`usage_accounting`]: bytes by flow, from the rungs in force, elapsed time, and delivery reports that arrive late;
 //! - [`windows`]: byte totals of recent seconds, minutes and hours in bounded memory;
 //! - [`budget`]: each front's quota of a shared rate, held by the generic cell rate algorithm (GCRA);
-//! - [`quota_share`]: how large that quota is, derived from what servers report;
+//! - `quota_share`: how large that quota is, derived from what servers report;
 //! - [`cross_zone_admission`]: which sessions may cross, which are capped, and in which order caps are lifted;
 //! - [`traffic_controller`]: a front's usage account and budgets, driven by the events of its sessions;
 //! - [`report`]: the report that is published and saved, and how reports of many fronts are merged.
@@ -13,7 +13,7 @@
 #![warn(missing_docs)]
 pub mod budget;
 pub mod cross_zone_admission;
-pub mod quota_share;
+pub(crate) mod quota_share;
 pub mod report;
 pub mod traffic_controller;
 pub mod usage_accounting;
--- a/crates/cross-zone-traffic/src/quota_share.rs
+++ b/crates/cross-zone-traffic/src/quota_share.rs
@@ -41,11 +41,11 @@
 
 /// Usage that was observed at a time; of a rate or of a budget, as the context states.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ObservedUsage {
+pub(crate) struct ObservedUsage {
     /// The time, nanoseconds.
-    pub at: u64,
+    pub(crate) at: u64,
     /// The usage: kB a second, or a fraction of the budget's rate.
-    pub usage: f64,
+    pub(crate) usage: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -56,13 +56,13 @@
 
 /// What servers of a zone report as crossing to one other zone, by class, all fronts together.
 #[derive(Clone, Debug, Default)]
-pub struct UsageReports {
+pub(crate) struct UsageReports {
     latest: BTreeMap<u32, ServerReport>,
 }
 
 impl UsageReports {
     /// A server reports what it sends across, kB a second by class. A report older than the latest one is ignored.
-    pub fn record(&mut self, server: u32, at: u64, rate_kb_by_class: BTreeMap<u8, f64>) {
+    pub(crate) fn record(&mut self, server: u32, at: u64, rate_kb_by_class: BTreeMap<u8, f64>) {
         let is_outdated = self.latest.get(&server).is_some_and(|known| at < known.at);
         if !is_outdated {
             let report = ServerReport {
@@ -74,14 +74,14 @@
     }
 
     /// A server was removed, and nothing crosses from it.
-    pub fn server_removed(&mut self, server: u32) {
+    pub(crate) fn server_removed(&mut self, server: u32) {
         self.latest.remove(&server);
     }
 
     /// kB a second of the accepted classes from all `servers`, and the time of the oldest report; `None` where one of
     /// them has no recent report.
     #[must_use]
-    pub fn total(
+    pub(crate) fn total(
         &self,
         now: u64,
         servers: impl Iterator<Item = u32>,
@@ -111,7 +111,7 @@
 
 /// A front's quota of one budget. Usage and quota are fractions of the budget's rate.
 #[derive(Clone, Debug)]
-pub struct QuotaShare {
+pub(crate) struct QuotaShare {
     equal_quota: f64,
     quota: f64,
     mean_usage: f64,
@@ -123,7 +123,7 @@
 impl QuotaShare {
     /// An equal quota.
     #[must_use]
-    pub fn new(equal_quota: f64) -> QuotaShare {
+    pub(crate) fn new(equal_quota: f64) -> QuotaShare {
         QuotaShare {
             equal_quota,
             quota: equal_quota,
@@ -135,31 +135,36 @@
 
     /// The equal quota.
     #[must_use]
-    pub fn equal_quota(&self) -> f64 {
+    pub(crate) fn equal_quota(&self) -> f64 {
         self.equal_quota
     }
 
     /// A session was held back, or would have been.
-    pub fn request_more(&mut self, now: u64) {
+    pub(crate) fn request_more(&mut self, now: u64) {
         self.last_demand = Some(now);
     }
 
     /// Whether more was requested recently; then reports of all servers are worth receiving.
     #[must_use]
-    pub fn has_demand(&self, now: u64) -> bool {
+    pub(crate) fn has_demand(&self, now: u64) -> bool {
         self.last_demand
             .is_some_and(|at| now.saturating_sub(at) <= DEMAND_DURATION)
     }
 
     /// Whether the quota exceeds an equal one, which only reports allow.
     #[must_use]
-    pub fn exceeds_equal_share(&self) -> bool {
+    pub(crate) fn exceeds_equal_share(&self) -> bool {
         self.quota > self.equal_quota * EXCEEDS_EQUAL_QUOTA
     }
 
     /// Updates the quota, about once a second: `own_usage` of this front now, and the usage of all fronts at an earlier
     /// time where every server reported. Returns the quota, 0 to 1.
-    pub fn update(&mut self, now: u64, own_usage: f64, all_fronts: Option<ObservedUsage>) -> f64 {
+    pub(crate) fn update(
+        &mut self,
+        now: u64,
+        own_usage: f64,
+        all_fronts: Option<ObservedUsage>,
+    ) -> f64 {
         self.record_own_usage(now, own_usage);
         let Some(all_fronts) = all_fronts else {
             self.quota = self.equal_quota;
