--- a/crates/daemon/src/event_loop/previous_incarnation.rs
+++ b/crates/daemon/src/event_loop/previous_incarnation.rs
@@ -149,7 +149,7 @@
         for step in steps {
             let server = match &step {
                 ReconciliationStep::RequestInventory(server)
-                | ReconciliationStep::Fence(server, _) => ServerId(*server),
+                | ReconciliationStep::Fence { server, .. } => ServerId(*server),
             };
             let Some(address) = self
                 .servers
@@ -164,8 +164,8 @@
                 ReconciliationStep::RequestInventory(_) => {
                     inventory_client::ask(self.shared.clone(), server, address);
                 }
-                ReconciliationStep::Fence(_, name) => {
-                    inventory_client::fence(self.shared.clone(), server, address, name);
+                ReconciliationStep::Fence { attempt_name, .. } => {
+                    inventory_client::fence(self.shared.clone(), server, address, attempt_name);
                 }
             }
         }
@@ -214,7 +214,7 @@
         }
         let shared = self.shared.clone();
         let told = book.into_recovery();
-        let (verdicts, steps) = self.settling(|s| {
+        let outcome = self.settling(|s| {
             s.receive_inventory(server.0, &told, |name| {
                 shared.names.attempt_of(name).is_some()
             })
@@ -222,7 +222,7 @@
         tracing::info!(
             server = server.0,
             age_ms = (clock::now() - start) / MILLISECOND,
-            ?verdicts,
+            verdicts = ?outcome.resolutions,
             "a server told what it holds"
         );
         let late = self.paid.as_mut().is_some_and(|kept| {
@@ -233,10 +233,11 @@
             // Taken for cold since all was settled; it may be younger than that.
             self.started(server, start);
         }
-        verdicts
+        outcome
+            .resolutions
             .into_iter()
             .for_each(|verdict| self.verdict(verdict));
-        self.take_steps(steps);
+        self.take_steps(outcome.steps);
     }
 
     pub(super) fn verdict(&mut self, verdict: Resolution) {
@@ -244,14 +245,20 @@
         let ran = kept.ran();
         let keep = self.shared.config.terms.key_retention / MILLISECOND;
         let (key, fate) = match verdict {
-            Resolution::Adopt(server, held) => {
+            Resolution::Adopt {
+                server,
+                session: held,
+            } => {
                 kept.finds.push((ServerId(server), held));
                 if !kept.open {
                     self.take_up_finds();
                 }
                 return;
             }
-            Resolution::TearDown(server, name) => {
+            Resolution::TearDown {
+                server,
+                attempt_name: name,
+            } => {
                 tracing::info!(
                     server,
                     "a session whose viewer was told that it failed is ended"
--- a/crates/daemon/src/event_loop/status.rs
+++ b/crates/daemon/src/event_loop/status.rs
@@ -3,26 +3,33 @@
 use crankpaddle_api::describe::{Fleet, ReturnStep, ServiceStage, StepReason, StoreState};
 use crankpaddle_front::{RecoveryStage, StageEvidence};
 use crankpaddle_net::clock;
+use crankpaddle_recovery::StageTransition;
 
 impl EventLoop {
     /// What this front knows of its past; `None`: it keeps none.
     pub(super) fn fleet(&self) -> Option<Fleet> {
         let kept = self.paid.as_ref()?;
         let now = clock::now();
-        let step = |(at, stage, why): &(u64, RecoveryStage, StageEvidence)| ReturnStep {
-            stage: stage_told(*stage),
-            why: reason_told(*why),
-            ago_ms: now.saturating_sub(*at) / MILLISECOND,
+        let step = |transition: &StageTransition| ReturnStep {
+            stage: stage_told(transition.stage),
+            why: reason_told(transition.evidence),
+            ago_ms: now.saturating_sub(transition.at) / MILLISECOND,
         };
-        let (told, out_of_reach, asked) = kept.settling.counts();
+        let servers = kept.settling.server_counts();
         Some(Fleet {
             stage: stage_told(self.core.stage()),
-            steps: self.core.recovery().steps().iter().map(step).collect(),
+            steps: self
+                .core
+                .recovery()
+                .transitions()
+                .iter()
+                .map(step)
+                .collect(),
             held: self.core.queued_for_recovery() as u64,
             unsettled: kept.settling.unresolved_count() as u64,
-            servers_told: told as u64,
-            servers_out_of_reach: out_of_reach as u64,
-            servers_asked: asked as u64,
+            servers_told: servers.reconciled as u64,
+            servers_out_of_reach: servers.unreachable as u64,
+            servers_asked: servers.pending as u64,
             kept: kept.ledger.len() as u64,
             reckoned_fronts: self.core.replica_count(),
             store: match (&kept.writer, kept.failing) {
--- a/crates/front/src/core/startup_recovery.rs
+++ b/crates/front/src/core/startup_recovery.rs
@@ -17,7 +17,7 @@
         sound: bool,
         fleet: ConservativeBound<u32>,
     ) {
-        (self.steps_told, self.sound, self.fleet) = (returning.steps().len(), sound, fleet);
+        (self.steps_told, self.sound, self.fleet) = (returning.transitions().len(), sound, fleet);
         self.returning = returning;
         self.reckon();
         self.returning
@@ -74,13 +74,13 @@
             .next_expiry()
             .into_iter()
             .for_each(|at| self.timers.set(Time(at), Due::Stage));
-        let taken = &self.returning.steps()[self.steps_told..];
+        let taken = &self.returning.transitions()[self.steps_told..];
         out.extend(
             taken
                 .iter()
-                .map(|(_, stage, why)| Output::StageReached(*stage, *why)),
+                .map(|taken| Output::StageReached(taken.stage, taken.evidence)),
         );
-        self.steps_told = self.returning.steps().len();
+        self.steps_told = self.returning.transitions().len();
         self.reckon();
     }
 
--- a/crates/recovery/src/intents.rs
+++ b/crates/recovery/src/intents.rs
@@ -1,357 +1,284 @@
-//! Paid set-ups, written down before they leave.
+//! The write-ahead ledger of paid set-ups.
 //!
-//! A paid key has one entry: where its one attempt is out or plays, or that it ran. Danger: a front that forgets an attempt with its
-//! power sets the same key up again, and it is paid twice. Covered: the entry is on disk before the first byte of the attempt leaves;
-//! what became of it is written later and may be lost, since the servers can be asked. Harm: a paid set-up waits for the disk.
+//! A paid key has one entry: its one attempt is in flight or established, or it ran. Why: a front that lost this with its power would
+//! set the same key up again, and it would be paid twice. The entry is on disk before the first byte of the attempt is sent; the
+//! outcome is written later and may be lost, since the servers' inventories show it. The price is that a paid set-up waits for the
+//! disk.
 use crate::power_loss_policy::StateKind;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-/// A paid session as operators' books have it: by name, since numbers of a configuration change with it.
+/// The retention deadline of an entry whose attempt is active: it is never pruned.
+const RETAINED_WHILE_ACTIVE: u64 = u64::MAX;
+
+/// A paid session as billing identifies it. Names are used, since the numbers of tenants change with the configuration.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Key {
-    /// Tenant; empty where there are none.
+    /// Tenant; empty where no tenants are configured.
     pub tenant: String,
-    /// What it is billed under, which does not tell the player's own key.
+    /// The billing identifier, which does not reveal the player's own key.
     pub bill: String,
 }
 
-/// What became of a paid key.
+/// The outcome of a paid key.
+///
+/// Stored data depends on the order of the variants.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum IntentOutcome {
-    /// An attempt is out, or about to be; it may have run.
+    /// An attempt was sent or is about to be; it may have run.
     InFlight,
-    /// It plays.
+    /// The session is established.
     Established,
-    /// It ran and is over.
+    /// The session ran and has ended.
     Completed,
-    /// It may have run, and its viewer was told that it failed.
+    /// It may have run, and a failure was reported to its viewer.
     Failed,
 }
 
-/// A paid key's one entry.
+impl IntentOutcome {
+    /// Whether the key's attempt is in flight or established, so that a late result can still change the outcome.
+    pub(crate) fn is_active(self) -> bool {
+        match self {
+            IntentOutcome::InFlight | IntentOutcome::Established => true,
+            IntentOutcome::Completed | IntentOutcome::Failed => false,
+        }
+    }
+}
+
+/// The one entry of a paid key.
+///
+/// Stored data depends on the order of the fields.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Intent {
     /// Class by name.
     pub class: String,
-    /// The server of its last attempt.
+    /// The server of the last attempt.
     pub server: u32,
-    /// The attempt's name there.
+    /// The attempt's name at that server.
     pub attempt_name: String,
-    /// The life of that server which was known when it left; empty: none was.
+    /// The incarnation of that server known when the attempt was sent; empty if none was.
     pub server_incarnation: String,
-    /// What became of it.
+    /// The outcome.
     pub outcome: IntentOutcome,
-    /// Forgotten once all lives of the front together ran for so long, milliseconds. Danger: by the wall clock a host that boots with
-    /// the clock of tomorrow would forget what it did a minute ago.
+    /// The accumulated uptime of the front, over all its incarnations, at which the entry may be pruned; in milliseconds.
+    /// Why not the wall clock: a host that boots with a clock that is a day ahead would forget what it did a minute ago.
     pub retained_until: u64,
 }
 
-/// A change of what is kept.
+/// A change of the persisted state.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum StoreWrite {
-    /// This entry, in place of any other of the key.
+    /// Inserts this entry, in place of any other of the key.
     Put(Key, Intent),
-    /// The key may be forgotten: nothing of it ran, or its time is over.
+    /// Removes the key: nothing of it ran, or its retention is over.
     Remove(Key),
-    /// The fleet has so many fronts.
+    /// Sets the number of fronts in the fleet.
     FleetSize(u32),
-    /// All lives ran together for so many milliseconds.
+    /// Sets the accumulated uptime of all incarnations, in milliseconds.
     Uptime(u64),
-    /// This life ends in order.
+    /// Marks this incarnation as ended by a graceful shutdown.
     CleanShutdown,
 }
 
 impl StoreWrite {
-    /// What it keeps.
-    pub fn thing(&self) -> StateKind {
+    /// The kind of state that is written.
+    #[must_use]
+    pub fn state_kind(&self) -> StateKind {
         match self {
-            StoreWrite::Put(
-                _,
-                Intent {
-                    outcome: IntentOutcome::InFlight,
-                    ..
-                },
-            ) => StateKind::Intent,
-            StoreWrite::Put(..) | StoreWrite::Remove(_) => StateKind::Fate,
+            StoreWrite::Put(_, intent) if intent.outcome == IntentOutcome::InFlight => {
+                StateKind::Intent
+            }
+            StoreWrite::Put(..) | StoreWrite::Remove(_) => StateKind::IntentOutcome,
             StoreWrite::FleetSize(_) => StateKind::FleetSize,
             StoreWrite::Uptime(_) | StoreWrite::CleanShutdown => StateKind::Epoch,
         }
     }
 }
 
-/// How an attempt of a paid key came out.
+/// The result of an attempt of a paid key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptResult {
-    /// It plays.
+    /// The session is established.
     Established,
-    /// It never ran.
+    /// The attempt never ran.
     NeverRan,
-    /// It plays no more, or it never came to play and may have run.
+    /// The session has ended, or the attempt was never established and may have run.
     Ended,
 }
 
-/// The paid keys of this front. Bounded: what ended is forgotten, the oldest first, by time and by number.
+/// The paid keys of this front. It is bounded: keys that ended are pruned, the oldest first, by age and by number.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct IntentLedger {
     entries: BTreeMap<Key, Intent>,
-    names: BTreeMap<String, Key>,    // Of attempts that are out or play.
-    ended: BTreeMap<(u64, Key), ()>, // By the time until which they are kept.
-    keep: u64,
-    most: usize,
+    /// The keys of active attempts by the attempt's name.
+    active_attempts: BTreeMap<String, Key>,
+    /// Keys that ended, ordered by [`Intent::retained_until`].
+    pruning_order: BTreeSet<(u64, Key)>,
+    /// How long an ended key is retained, in milliseconds of uptime.
+    retention_ms: u64,
+    max_ended: usize,
 }
 
 impl IntentLedger {
-    /// Ended keys are kept for `keep` milliseconds of running time, and `most` of them at most.
-    pub fn new(keep: u64, most: usize, past: &[(Key, Intent)]) -> IntentLedger {
+    /// A ledger that starts with `recovered` entries. Ended keys are retained for `retention_ms` milliseconds of uptime, and
+    /// `max_ended` of them at most.
+    pub fn new(retention_ms: u64, max_ended: usize, recovered: &[(Key, Intent)]) -> IntentLedger {
         let mut ledger = IntentLedger {
-            keep,
-            most,
+            retention_ms,
+            max_ended,
             ..IntentLedger::default()
         };
-        past.iter()
-            .for_each(|(key, intent)| ledger.put(key.clone(), intent.clone()));
+        for (key, intent) in recovered {
+            ledger.insert(key.clone(), intent.clone());
+        }
         ledger
     }
 
-    /// Entries, those that ended with them.
+    /// The number of entries, including those that ended.
+    #[must_use]
     pub fn len(&self) -> usize {
         self.entries.len()
     }
 
-    /// Whether there are none.
+    /// Whether there is no entry.
+    #[must_use]
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
 
-    /// What is known of a key.
+    /// The entry of a key.
+    #[must_use]
     pub fn get(&self, key: &Key) -> Option<&Intent> {
         self.entries.get(key)
     }
 
-    fn put(&mut self, key: Key, intent: Intent) {
-        self.take_out(&key);
-        if matches!(
-            intent.outcome,
-            IntentOutcome::InFlight | IntentOutcome::Established
-        ) {
-            self.names.insert(intent.attempt_name.clone(), key.clone());
+    fn insert(&mut self, key: Key, intent: Intent) {
+        self.remove(&key);
+        if intent.outcome.is_active() {
+            self.active_attempts
+                .insert(intent.attempt_name.clone(), key.clone());
         } else {
-            self.ended.insert((intent.retained_until, key.clone()), ());
+            self.pruning_order
+                .insert((intent.retained_until, key.clone()));
         }
         self.entries.insert(key, intent);
     }
 
-    fn take_out(&mut self, key: &Key) -> Option<Intent> {
+    fn remove(&mut self, key: &Key) -> Option<Intent> {
         let intent = self.entries.remove(key)?;
-        if self.names.get(&intent.attempt_name) == Some(key) {
-            self.names.remove(&intent.attempt_name);
+        // Another key may have taken the attempt's name over; its index entry stays.
+        if self.active_attempts.get(&intent.attempt_name) == Some(key) {
+            self.active_attempts.remove(&intent.attempt_name);
         }
-        self.ended.remove(&(intent.retained_until, key.clone()));
+        self.pruning_order
+            .remove(&(intent.retained_until, key.clone()));
         Some(intent)
     }
 
-    /// An attempt is about to leave. It must not before this was written to the end.
+    fn insert_and_persist(&mut self, key: Key, intent: Intent) -> StoreWrite {
+        self.insert(key.clone(), intent.clone());
+        StoreWrite::Put(key, intent)
+    }
+
+    /// Records an attempt that is about to be sent. It must not be sent before the returned write is on disk.
+    #[must_use]
     pub fn begin_attempt(
         &mut self,
         key: Key,
         class: String,
         server: u32,
-        name: String,
-        boot: String,
+        attempt_name: String,
+        server_incarnation: String,
     ) -> StoreWrite {
         let intent = Intent {
             class,
             server,
-            attempt_name: name,
-            server_incarnation: boot,
+            attempt_name,
+            server_incarnation,
             outcome: IntentOutcome::InFlight,
-            retained_until: u64::MAX,
+            retained_until: RETAINED_WHILE_ACTIVE,
         };
-        self.put(key.clone(), intent.clone());
-        StoreWrite::Put(key, intent)
+        self.insert_and_persist(key, intent)
     }
 
-    /// An attempt came out, by its name; `ran` is how long all lives ran. `None`: it is not one of ours, or nothing changed.
+    /// Records the result of the attempt of this name; `uptime_ms` is the accumulated uptime of all incarnations. Returns `None` if
+    /// the attempt is not active here, or nothing changed.
     pub fn attempt_ended(
         &mut self,
-        name: &str,
-        how: AttemptResult,
-        ran: u64,
+        attempt_name: &str,
+        result: AttemptResult,
+        uptime_ms: u64,
     ) -> Option<StoreWrite> {
-        let key = self.names.get(name)?.clone();
-        let fate = match how {
-            AttemptResult::NeverRan => {
-                self.take_out(&key);
-                return Some(StoreWrite::Remove(key));
-            }
+        let key = self.active_attempts.get(attempt_name)?.clone();
+        let outcome = match result {
+            AttemptResult::NeverRan => return self.remove_never_ran(&key),
             AttemptResult::Established => IntentOutcome::Established,
-            AttemptResult::Ended
-                if self
-                    .entries
-                    .get(&key)
-                    .is_some_and(|i| i.outcome == IntentOutcome::Established) =>
-            {
-                IntentOutcome::Completed
-            }
+            AttemptResult::Ended if self.is_established(&key) => IntentOutcome::Completed,
             AttemptResult::Ended => IntentOutcome::Failed,
         };
-        self.set_outcome(&key, fate, ran)
+        self.set_outcome(&key, outcome, uptime_ms)
     }
 
-    /// A key turns out to have come to this.
-    pub fn set_outcome(&mut self, key: &Key, fate: IntentOutcome, ran: u64) -> Option<StoreWrite> {
-        let before = self.entries.get(key)?;
-        if before.outcome == fate {
+    fn is_established(&self, key: &Key) -> bool {
+        self.entries
+            .get(key)
+            .is_some_and(|intent| intent.outcome == IntentOutcome::Established)
+    }
+
+    /// Sets the outcome of a key. Returns `None` if the key is unknown, or nothing changed.
+    pub fn set_outcome(
+        &mut self,
+        key: &Key,
+        outcome: IntentOutcome,
+        uptime_ms: u64,
+    ) -> Option<StoreWrite> {
+        let previous = self.entries.get(key)?;
+        if previous.outcome == outcome {
             return None;
         }
-        let until = match fate {
-            IntentOutcome::InFlight | IntentOutcome::Established => u64::MAX,
-            IntentOutcome::Completed | IntentOutcome::Failed => ran.saturating_add(self.keep),
+        let retained_until = if outcome.is_active() {
+            RETAINED_WHILE_ACTIVE
+        } else {
+            uptime_ms.saturating_add(self.retention_ms)
         };
         let intent = Intent {
-            outcome: fate,
-            retained_until: until,
-            ..before.clone()
+            outcome,
+            retained_until,
+            ..previous.clone()
         };
-        self.put(key.clone(), intent.clone());
-        Some(StoreWrite::Put(key.clone(), intent))
+        Some(self.insert_and_persist(key.clone(), intent))
     }
 
-    /// A key of which a server's book told and this ledger nothing.
+    /// Inserts a key that a server's inventory lists and this ledger lacks.
+    #[must_use]
     pub fn insert_recovered(&mut self, key: Key, intent: Intent) -> StoreWrite {
-        self.put(key.clone(), intent.clone());
-        StoreWrite::Put(key, intent)
+        self.insert_and_persist(key, intent)
     }
 
-    /// Nothing of a key ran, as was proven.
+    /// Removes a key of which nothing ran, as was proven. Returns `None` if the key is unknown.
     pub fn remove_never_ran(&mut self, key: &Key) -> Option<StoreWrite> {
-        self.take_out(key).map(|_| StoreWrite::Remove(key.clone()))
+        self.remove(key)?;
+        Some(StoreWrite::Remove(key.clone()))
     }
 
-    /// Forgets what is over for long enough, and what is too much; `most_now` entries at a time, so that no call is long.
-    pub fn prune(&mut self, ran: u64, most_now: usize) -> Vec<StoreWrite> {
-        let mut out = Vec::new();
-        while out.len() < most_now {
-            let Some((until, key)) = self.ended.keys().next().cloned() else {
+    /// Removes ended keys whose retention is over or that are too many, the oldest first; `limit` of them at most, so that no call
+    /// takes long.
+    #[must_use]
+    pub fn prune(&mut self, uptime_ms: u64, limit: usize) -> Vec<StoreWrite> {
+        let mut writes = Vec::new();
+        while writes.len() < limit {
+            let Some((retained_until, key)) = self.pruning_order.first().cloned() else {
                 break;
             };
-            if until > ran && self.ended.len() <= self.most {
+            if retained_until > uptime_ms && self.pruning_order.len() <= self.max_ended {
                 break;
             }
-            self.take_out(&key);
-            out.push(StoreWrite::Remove(key));
+            self.remove(&key);
+            writes.push(StoreWrite::Remove(key));
         }
-        out
+        writes
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn key(n: u32) -> Key {
-        Key {
-            tenant: String::new(),
-            bill: format!("b{n}"),
-        }
-    }
-
-    fn out(ledger: &mut IntentLedger, n: u32) -> StoreWrite {
-        ledger.begin_attempt(key(n), "paid".into(), 7, format!("name-{n}"), "1".into())
-    }
-
-    #[test]
-    fn an_attempt_that_never_ran_leaves_nothing_and_one_that_may_have_stays() {
-        let mut ledger = IntentLedger::new(1000, 10, &[]);
-        assert_eq!(out(&mut ledger, 1).thing(), StateKind::Intent);
-        assert_eq!(
-            ledger.attempt_ended("name-1", AttemptResult::NeverRan, 0),
-            Some(StoreWrite::Remove(key(1)))
-        );
-        assert!(ledger.is_empty());
-        out(&mut ledger, 2);
-        ledger.attempt_ended("name-2", AttemptResult::Ended, 50);
-        assert_eq!(
-            ledger.get(&key(2)).map(|i| (i.outcome, i.retained_until)),
-            Some((IntentOutcome::Failed, 1050))
-        );
-        assert_eq!(
-            ledger.attempt_ended("name-2", AttemptResult::NeverRan, 60),
-            None,
-            "what failed can't be unsaid by a late word"
-        );
-    }
-
-    #[test]
-    fn what_is_out_or_plays_is_never_pruned_and_the_rest_by_time_and_number() {
-        let mut ledger = IntentLedger::new(1000, 2, &[]);
-        for n in 0..6 {
-            out(&mut ledger, n);
-        }
-        for n in 2..6u32 {
-            ledger.attempt_ended(&format!("name-{n}"), AttemptResult::Established, 0);
-            ledger.attempt_ended(&format!("name-{n}"), AttemptResult::Ended, u64::from(n));
-        }
-        assert_eq!(
-            ledger.prune(5, 1),
-            [StoreWrite::Remove(key(2))],
-            "one at a time"
-        );
-        assert_eq!(
-            ledger.prune(5, 100),
-            [StoreWrite::Remove(key(3))],
-            "two are kept"
-        );
-        assert_eq!(ledger.prune(1004, 100), [StoreWrite::Remove(key(4))]);
-        assert_eq!(
-            ledger.prune(u64::MAX - 1, 100),
-            [StoreWrite::Remove(key(5))]
-        );
-        assert_eq!(ledger.len(), 2, "two are out");
-    }
-
-    #[test]
-    fn nothing_worthless_is_ever_written() {
-        let mut ledger = IntentLedger::new(1, 1, &[]);
-        let mut writes = vec![
-            out(&mut ledger, 1),
-            StoreWrite::FleetSize(3),
-            StoreWrite::Uptime(1),
-            StoreWrite::CleanShutdown,
-        ];
-        writes.extend(ledger.attempt_ended("name-1", AttemptResult::Ended, 0));
-        writes.extend(ledger.prune(u64::MAX, 9));
-        assert_eq!(writes.len(), 6);
-        assert!(writes
-            .iter()
-            .all(|w| w.thing().after() != crate::PowerLossPolicy::Discarded));
-    }
-
-    #[test]
-    fn a_ledger_goes_on_where_the_last_one_stood() {
-        let mut first = IntentLedger::new(1000, 10, &[]);
-        let writes = [out(&mut first, 1), out(&mut first, 2)];
-        let kept: Vec<(Key, Intent)> = writes
-            .into_iter()
-            .filter_map(|w| {
-                if let StoreWrite::Put(key, intent) = w {
-                    Some((key, intent))
-                } else {
-                    None
-                }
-            })
-            .collect();
-        let mut second = IntentLedger::new(1000, 10, &kept);
-        assert_eq!(
-            second
-                .attempt_ended("name-2", AttemptResult::Established, 0)
-                .map(|w| w.thing()),
-            Some(StateKind::Fate)
-        );
-        assert_eq!(
-            second.get(&key(1)).map(|i| i.outcome),
-            Some(IntentOutcome::InFlight)
-        );
-    }
-}
+mod tests;
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -1,15 +1,17 @@
-//! Back from a power loss: what a front may still trust, how it settles what it had begun, and in which order it serves again.
+//! Recovery from a power loss: which state a front may still trust, how it reconciles unresolved paid set-ups with the servers, and
+//! in which order it resumes service.
 //!
-//! No I/O and no clock: what was kept, what servers say and the time go in, verdicts and stages come out.
+//! The package is pure: there is no I/O and no clock. Persisted state, servers' inventories and the time are passed in; resolutions
+//! and stages are returned.
 //!
-//! - [`power_loss_policy`]: for each thing that a front knows, what it is worth after its host lost power;
-//! - [`recovered_state`]: what a front starts from;
-//! - [`intents`]: the ledger of paid set-ups, each written down before its first byte leaves;
-//! - [`reconciliation`]: what becomes of those that a former life left open, by the books of the servers;
-//! - [`stages`]: dark, reading, settling, paid, all, normal.
+//! - [`power_loss_policy`]: how far each kind of state can be trusted after a power loss;
+//! - [`recovered_state`]: the state that a front starts from;
+//! - [`intents`]: the write-ahead ledger of paid set-ups;
+//! - [`reconciliation`]: how the intents that a previous incarnation left unresolved are resolved by the servers' inventories;
+//! - [`stages`]: the staged return of service, from offline to normal.
 //!
-//! The law: what was kept, or is heard from a server's book, may make a front more careful. Where it is wrong, old, torn or gone, worth
-//! is lost and no rule.
+//! Invariant: persisted state, and what a server's inventory states, may only make a front more cautious. Where it is wrong, out of
+//! date, corrupted or missing, service is worse and no rule is broken.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 pub mod intents;
@@ -21,9 +23,11 @@
 pub use intents::{Intent, IntentLedger, IntentOutcome, Key, StoreWrite};
 pub use power_loss_policy::{ConservativeBound, PowerLossPolicy, StateKind, StillValid};
 pub use reconciliation::{
-    InventorySession, Reconciliation, ReconciliationStep, Resolution, SessionInventory,
+    InventoryOutcome, InventorySession, Reconciliation, ReconciliationStep, Resolution,
+    ServerCounts, SessionInventory,
 };
 pub use recovered_state::{PreviousShutdown, RecoveredState};
 pub use stages::{
-    RecoveryAdmission as Admission, RecoveryStage, StageEvidence, StageTimeouts, StagedRecovery,
+    RecoveryAdmission as Admission, RecoveryStage, StageEvidence, StageTimeouts, StageTransition,
+    StagedRecovery,
 };
--- a/crates/recovery/src/power_loss_policy.rs
+++ b/crates/recovery/src/power_loss_policy.rs
@@ -1,147 +1,142 @@
-//! The table: what each thing that a front knows is worth once its host has lost power.
+//! How far each kind of state can be trusted after the host lost power.
 //!
-//! It is held by types. What a front starts from is a [`RecoveredState`](crate::RecoveredState), and each of its fields is [`StillValid`] or [`ConservativeBound`]; for what is
-//! worthless there is no wrapper, so it has no way into it. [`Write::thing`](crate::intents::StoreWrite::thing) names for each write of the
-//! store what it keeps, and a test holds that none of it is worthless.
+//! The policy is enforced by types. A front starts from a [`RecoveredState`](crate::RecoveredState), whose fields are all either
+//! [`StillValid`] or [`ConservativeBound`]. Discarded state has no wrapper type and so cannot enter it.
+//! [`StoreWrite::state_kind`](crate::intents::StoreWrite::state_kind) names the kind of state behind each write to the store, and a
+//! test checks that none of it is [`PowerLossPolicy::Discarded`].
 
-/// What a thing is worth after a power loss.
+/// How far a kind of state can be trusted after a power loss.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PowerLossPolicy {
-    /// As true as before.
+    /// It is as true as before the power loss.
     StillValid,
-    /// It may be out of date, and is used only where it makes the front more careful.
+    /// It may be out of date; it is used only where it makes the front more cautious.
     Conservative,
-    /// It says nothing any more; it is forgotten, never kept.
+    /// It is meaningless after a restart and is never persisted.
     Discarded,
 }
 
-/// A thing that a front knows.
+/// A kind of state that a front has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StateKind {
-    /// A paid set-up that was about to leave.
+    /// A paid set-up that was about to be sent.
     Intent,
-    /// What became of a paid key.
-    Fate,
-    /// Which front this is, and how often it started.
+    /// The outcome of a paid key.
+    IntentOutcome,
+    /// The identity of this front and the number of its starts.
     Epoch,
-    /// How many fronts the fleet had.
+    /// The number of fronts in the fleet.
     FleetSize,
-    /// Servers that drain or are gone.
-    Drain,
-    /// Servers, where they listen, what they are.
-    List,
-    /// Since when a server runs, and so whether it is cold.
+    /// Servers that are draining or removed.
+    Draining,
+    /// Servers with their addresses and properties.
+    EndpointList,
+    /// When a server started, and so whether it is warming up.
     ServerStart,
-    /// What is asked of links and uplinks.
+    /// Load of links and uplinks.
     Load,
-    /// How old a piece of news is.
-    Age,
-    /// Turns at cold servers, pauses, shares of tenants, allowances for further attempts.
-    Turn,
-    /// Sessions that play.
+    /// The age of an observation.
+    ObservationAge,
+    /// Admission slots at servers that warm up, backoffs, tenants' quotas, retry budgets.
+    AdmissionSlot,
+    /// Established sessions.
     Session,
-    /// Points in time of the front's own clock.
-    Clock,
+    /// Instants of the front's monotonic clock.
+    MonotonicClock,
 }
 
 impl StateKind {
-    /// All of them.
+    /// All kinds, in the order of the table in docs/power.md.
     pub const ALL: [StateKind; 12] = [
         StateKind::Intent,
-        StateKind::Fate,
+        StateKind::IntentOutcome,
         StateKind::Epoch,
         StateKind::FleetSize,
-        StateKind::Drain,
-        StateKind::List,
+        StateKind::Draining,
+        StateKind::EndpointList,
         StateKind::ServerStart,
         StateKind::Load,
-        StateKind::Age,
-        StateKind::Turn,
+        StateKind::ObservationAge,
+        StateKind::AdmissionSlot,
         StateKind::Session,
-        StateKind::Clock,
+        StateKind::MonotonicClock,
     ];
 
-    /// What it is worth.
-    pub const fn after(self) -> PowerLossPolicy {
+    /// How far this kind of state can be trusted after a power loss.
+    #[must_use]
+    pub const fn policy(self) -> PowerLossPolicy {
         match self {
-            StateKind::Intent | StateKind::Fate | StateKind::Epoch => PowerLossPolicy::StillValid,
-            StateKind::FleetSize | StateKind::Drain | StateKind::List | StateKind::ServerStart => {
-                PowerLossPolicy::Conservative
+            StateKind::Intent | StateKind::IntentOutcome | StateKind::Epoch => {
+                PowerLossPolicy::StillValid
             }
+            StateKind::FleetSize
+            | StateKind::Draining
+            | StateKind::EndpointList
+            | StateKind::ServerStart => PowerLossPolicy::Conservative,
             StateKind::Load
-            | StateKind::Age
-            | StateKind::Turn
+            | StateKind::ObservationAge
+            | StateKind::AdmissionSlot
             | StateKind::Session
-            | StateKind::Clock => PowerLossPolicy::Discarded,
+            | StateKind::MonotonicClock => PowerLossPolicy::Discarded,
         }
     }
 
-    /// Why, and what is done with it.
+    /// The reason for the policy and how the state is used, as stated in docs/power.md.
+    #[must_use]
     pub const fn why(self) -> &'static str {
         match self {
             StateKind::Intent => {
-                "it was on disk before its first byte left; its server is asked whether it ran"
+                "it was on disk before the first byte was sent; its server is asked whether it ran"
             }
-            StateKind::Fate => "a paid key that ran has run for ever; it is not set up again",
-            StateKind::Epoch => "it only grows; a start is told from all former ones",
+            StateKind::IntentOutcome => {
+                "a paid key that ran stays completed; it is not set up again"
+            }
+            StateKind::Epoch => "it only grows; each start has a number of its own",
             StateKind::FleetSize => {
-                "a smaller fleet is not believed until servers had time to warm"
+                "a smaller fleet is not assumed until servers had time to warm up"
+            }
+            StateKind::Draining => {
+                "servers that were draining are not used until an endpoint list names them active"
+            }
+            StateKind::EndpointList => {
+                "servers are queried at their last known addresses; a live list takes precedence"
             }
-            StateKind::Drain => "what drained is left alone until a list says otherwise",
-            StateKind::List => {
-                "servers are asked at the addresses last known; a live list goes before it"
+            StateKind::ServerStart => {
+                "each server counts as warming up until it reports its own age"
             }
-            StateKind::ServerStart => "each server counts as cold until it tells its age itself",
-            StateKind::Load => "links have emptied or filled meanwhile; they are heard anew",
-            StateKind::Age => "nobody knows how long the power was away",
-            StateKind::Turn => "its clock is gone; turns begin as for servers that just started",
-            StateKind::Session => "servers may have lost or kept them; their books say which",
-            StateKind::Clock => "a monotonic clock does not survive a boot",
+            StateKind::Load => "links have emptied or filled since; load is reported afresh",
+            StateKind::ObservationAge => "the duration of the power loss is unknown",
+            StateKind::AdmissionSlot => {
+                "its clock is gone; slots start as for servers that have just started"
+            }
+            StateKind::Session => {
+                "servers may have lost or retained sessions; their inventories list them"
+            }
+            StateKind::MonotonicClock => "a monotonic clock does not survive a boot",
         }
     }
 }
 
-/// Something that is as true as before.
+/// A value that is as true as before the power loss.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StillValid<T>(pub T);
 
-/// Something that may only make the front more careful.
+/// A value that may be out of date and serves only as a lower bound, so that it can only make the front more cautious.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ConservativeBound<T>(T);
 
 impl<T: Ord + Copy> ConservativeBound<T> {
-    /// Remembers what more of is more careful.
+    /// A bound on a quantity of which more is more cautious.
     pub fn new(value: T) -> ConservativeBound<T> {
         ConservativeBound(value)
     }
 
-    /// What to reckon with where `now` is heard: never less than that.
-    pub fn at_least(self, now: T) -> T {
-        self.0.max(now)
+    /// The value to assume when `observed` was observed since: the larger of the two.
+    #[must_use]
+    pub fn at_least(self, observed: T) -> T {
+        self.0.max(observed)
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn what_makes_careful_never_makes_bold() {
-        assert_eq!(ConservativeBound::new(40).at_least(11), 40);
-        assert_eq!(ConservativeBound::new(11).at_least(40), 40);
-    }
-
-    #[test]
-    fn the_table_of_the_page_is_the_codes() {
-        let page = include_str!("../../../docs/power.md");
-        for thing in StateKind::ALL {
-            let after = match thing.after() {
-                PowerLossPolicy::StillValid => "holds",
-                PowerLossPolicy::Conservative => "more careful",
-                PowerLossPolicy::Discarded => "worthless",
-            };
-            let row = format!("| {thing:?} | {after} | {} |", thing.why());
-            assert!(page.contains(&row), "docs/power.md lacks: {row}");
-        }
-    }
-}
+mod tests;
--- a/crates/recovery/src/reconciliation.rs
+++ b/crates/recovery/src/reconciliation.rs
@@ -1,475 +1,334 @@
-//! What becomes of paid set-ups that a former life left open, and of sessions that servers still hold for it.
+//! Reconciliation of the paid set-ups that a previous incarnation left unresolved, and of the sessions that servers still hold for it.
 //!
-//! Each server on the list is asked for its book: which of this front's sessions it holds, and which bills it ran. Danger: a set-up
-//! that is still on its way may run after the book was read. Covered: an attempt that the book does not have is ended by its name
-//! (a server refuses a set-up that comes after its end), and the book is read once more; only then it never ran. A book that does
-//! not reach back to the life of the server that the attempt was sent to proves nothing, and the key counts as run.
-use crate::intents::{Intent, IntentOutcome, Key};
-use std::collections::{BTreeMap, BTreeSet};
-
-/// A session that a server holds for this front.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub struct InventorySession {
-    /// Its name there.
-    pub name: String,
-    /// Whose it is and what it is billed under.
-    pub key: Key,
-    /// Class by name.
-    pub class: String,
-    /// Title by name.
-    pub title: String,
-    /// The rung in force.
-    pub rung: u8,
-}
-
-/// A server's word on one front.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub struct SessionInventory {
-    /// Lives of the server that the book reaches over without a gap, the present one last.
-    pub incarnations: Vec<String>,
-    /// Sessions that it holds.
-    pub sessions: Vec<InventorySession>,
-    /// Names of set-ups that it works on.
-    pub in_progress: Vec<String>,
-    /// Paid keys that it ran in those lives, held or not.
-    pub completed: Vec<Key>,
-}
+//! Each listed server is queried for its inventory: the sessions of this front that it holds, and the paid keys that it ran.
+//!
+//! Why one inventory does not prove that an attempt never ran: its set-up may still be on the way and run after the inventory was
+//! taken. So an attempt that the inventory lacks is fenced, that is, ended by its name (a server rejects a set-up that arrives after
+//! its end), and the inventory is requested once more. If it lacks the attempt again, the attempt never ran. An inventory that does
+//! not cover the server's incarnation to which the attempt was sent proves nothing, and the key counts as run.
+mod inventory;
+mod outcome;
 
-/// What a book proves.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Resolution {
-    /// The session plays at this server: it is taken up, and waits for its viewer.
-    Adopt(u32, InventorySession),
-    /// The session plays at this server, and its viewer was told already that it failed: it is ended.
-    TearDown(u32, String),
-    /// The key's session ran and is over.
-    Completed(Key),
-    /// It may have run, and nobody can say any more that it did not.
-    Unprovable(Key),
-    /// It never ran, and never will.
-    NeverRan(Key),
-}
+pub use inventory::{InventorySession, SessionInventory};
+pub use outcome::{InventoryOutcome, ReconciliationStep, Resolution, ServerCounts};
 
-/// What is to be asked of a server.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ReconciliationStep {
-    /// Ask for its book.
-    RequestInventory(u32),
-    /// End the attempt of this name there, then ask for the book again.
-    Fence(u32, String),
-}
+use crate::intents::{Intent, IntentOutcome, Key};
+use std::collections::{BTreeMap, BTreeSet};
 
+/// The state of the reconciliation with one server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Asked {
-    UnderWay,
-    Told,
-    OutOfReach,
+enum ServerState {
+    /// An inventory or a fence is requested.
+    Pending,
+    /// Its inventory resolved all that it could.
+    Reconciled,
+    Unreachable,
 }
 
+/// An attempt of a previous incarnation whose outcome is not resolved.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Open {
+struct UnresolvedAttempt {
     key: Key,
     server: u32,
-    boot: String,
-    plays: bool,
+    /// The server's incarnation known when the attempt was sent; empty if none was.
+    server_incarnation: String,
+    was_established: bool,
     fenced: bool,
-    given_up: bool, // Its viewer is told that it failed; a book may still tell more.
+    /// A failure was reported to the viewer; an inventory may still resolve the attempt.
+    timed_out: bool,
+}
+
+impl UnresolvedAttempt {
+    fn new(key: &Key, intent: &Intent) -> UnresolvedAttempt {
+        UnresolvedAttempt {
+            key: key.clone(),
+            server: intent.server,
+            server_incarnation: intent.server_incarnation.clone(),
+            was_established: intent.outcome == IntentOutcome::Established,
+            fenced: false,
+            timed_out: false,
+        }
+    }
+
+    /// What an inventory proves that does not hold the attempt; `None`: nothing before the attempt is fenced.
+    fn resolve_absent(
+        &self,
+        inventory: &SessionInventory,
+        completed: &BTreeSet<&Key>,
+    ) -> Option<Resolution> {
+        if self.was_established {
+            return Some(Resolution::Completed(self.key.clone()));
+        }
+        if completed.contains(&self.key) || !self.is_covered_by(inventory) {
+            return Some(Resolution::Unprovable(self.key.clone()));
+        }
+        self.fenced.then(|| Resolution::NeverRan(self.key.clone()))
+    }
+
+    fn is_covered_by(&self, inventory: &SessionInventory) -> bool {
+        !self.server_incarnation.is_empty()
+            && inventory.incarnations.contains(&self.server_incarnation)
+    }
 }
 
-/// Settles what former lives left open.
+/// Resolves what previous incarnations left unresolved.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Reconciliation {
-    open: BTreeMap<String, Open>, // By the attempt's name.
-    servers: BTreeMap<u32, Asked>,
-    fencing: BTreeMap<u32, BTreeSet<String>>, // Ends under way.
+    /// By the attempt's name.
+    unresolved: BTreeMap<String, UnresolvedAttempt>,
+    servers: BTreeMap<u32, ServerState>,
+    /// Names of the attempts whose fence is not confirmed yet, by server.
+    pending_fences: BTreeMap<u32, BTreeSet<String>>,
 }
 
 impl Reconciliation {
-    /// Of what was kept.
-    pub fn new(past: &[(Key, Intent)]) -> Reconciliation {
-        let left = past.iter().filter(|(_, i)| {
-            matches!(
-                i.outcome,
-                IntentOutcome::InFlight | IntentOutcome::Established
-            )
-        });
-        let open = left.map(|(key, i)| {
-            let (key, server, boot) = (key.clone(), i.server, i.server_incarnation.clone());
-            let plays = i.outcome == IntentOutcome::Established;
-            (
-                i.attempt_name.clone(),
-                Open {
-                    key,
-                    server,
-                    boot,
-                    plays,
-                    fenced: false,
-                    given_up: false,
-                },
-            )
-        });
+    /// A reconciliation of the active ones among the recovered intents.
+    pub fn new(recovered: &[(Key, Intent)]) -> Reconciliation {
+        let unresolved = recovered
+            .iter()
+            .filter(|(_, intent)| intent.outcome.is_active())
+            .map(|(key, intent)| {
+                (
+                    intent.attempt_name.clone(),
+                    UnresolvedAttempt::new(key, intent),
+                )
+            });
         Reconciliation {
-            open: open.collect(),
+            unresolved: unresolved.collect(),
             ..Reconciliation::default()
         }
     }
 
-    /// Attempts of former lives of which nobody has told what became.
+    /// The number of attempts of previous incarnations that no inventory has resolved.
+    #[must_use]
     pub fn unresolved_count(&self) -> usize {
-        self.open.len()
+        self.unresolved.len()
     }
 
-    /// Servers that told, that are out of reach, and that are being asked.
-    pub fn counts(&self) -> (usize, usize, usize) {
-        let count = |of| self.servers.values().filter(|a| **a == of).count();
-        (
-            count(Asked::Told),
-            count(Asked::OutOfReach),
-            count(Asked::UnderWay),
-        )
+    /// The listed servers by the state of their reconciliation.
+    #[must_use]
+    pub fn server_counts(&self) -> ServerCounts {
+        let count = |wanted| {
+            let states = self.servers.values();
+            states.filter(|state| **state == wanted).count()
+        };
+        ServerCounts {
+            reconciled: count(ServerState::Reconciled),
+            unreachable: count(ServerState::Unreachable),
+            pending: count(ServerState::Pending),
+        }
     }
 
-    /// Whether each server that is listed told all it was asked, or can't be reached.
+    /// Whether each listed server is reconciled or unreachable.
+    #[must_use]
     pub fn is_complete(&self) -> bool {
-        self.fencing.is_empty() && !self.servers.values().any(|a| *a == Asked::UnderWay)
+        let any_pending = self
+            .servers
+            .values()
+            .any(|state| *state == ServerState::Pending);
+        self.pending_fences.is_empty() && !any_pending
     }
 
-    /// These servers are listed.
+    /// Adds listed servers. Returns the inventory requests for those that are new.
     pub fn update_servers(
         &mut self,
         servers: impl IntoIterator<Item = u32>,
     ) -> Vec<ReconciliationStep> {
         let mut steps = Vec::new();
         for server in servers {
-            self.servers.entry(server).or_insert_with(|| {
-                steps.push(ReconciliationStep::RequestInventory(server));
-                Asked::UnderWay
-            });
+            if self.servers.contains_key(&server) {
+                continue;
+            }
+            self.servers.insert(server, ServerState::Pending);
+            steps.push(ReconciliationStep::RequestInventory(server));
         }
         steps
     }
 
-    /// A server can't be reached, or does not tell.
+    /// A server is unreachable or did not answer.
     pub fn server_unreachable(&mut self, server: u32) {
-        self.fencing.remove(&server);
-        if let Some(asked) = self
-            .servers
-            .get_mut(&server)
-            .filter(|a| **a == Asked::UnderWay)
-        {
-            *asked = Asked::OutOfReach;
-        }
+        self.pending_fences.remove(&server);
+        self.replace_state(server, ServerState::Pending, ServerState::Unreachable);
     }
 
-    /// A server that was out of reach is there: it is asked after all.
+    /// A server may be reachable again. Returns the inventory request if it was unreachable.
+    #[must_use]
     pub fn server_reachable(&mut self, server: u32) -> Option<ReconciliationStep> {
-        let asked = self
-            .servers
-            .get_mut(&server)
-            .filter(|a| **a == Asked::OutOfReach)?;
-        *asked = Asked::UnderWay;
-        Some(ReconciliationStep::RequestInventory(server))
+        self.replace_state(server, ServerState::Unreachable, ServerState::Pending)
+            .then_some(ReconciliationStep::RequestInventory(server))
+    }
+
+    /// Changes a server's state if it is `from`; whether it was.
+    fn replace_state(&mut self, server: u32, from: ServerState, to: ServerState) -> bool {
+        match self.servers.get_mut(&server) {
+            Some(state) if *state == from => {
+                *state = to;
+                true
+            }
+            _ => false,
+        }
     }
 
-    /// What is open still counts as run from now on: its viewers do not wait any longer. Gives those keys.
+    /// Ends the wait: what is unresolved counts as run from now on. Returns the keys for which this is new.
+    #[must_use]
     pub fn time_out(&mut self) -> Vec<Key> {
-        let left = self.open.values_mut().filter(|o| !o.given_up);
-        left.map(|o| {
-            o.given_up = true;
-            o.key.clone()
-        })
-        .collect()
+        let mut timed_out = Vec::new();
+        for attempt in self.unresolved.values_mut() {
+            if attempt.timed_out {
+                continue;
+            }
+            attempt.timed_out = true;
+            timed_out.push(attempt.key.clone());
+        }
+        timed_out
     }
 
-    /// An attempt was ended at its server, so that it can't run any more. `None`: more ends are awaited there.
-    pub fn fence_confirmed(&mut self, server: u32, name: &str) -> Option<ReconciliationStep> {
-        if let Some(open) = self.open.get_mut(name) {
-            open.fenced = true;
+    /// A server confirmed that an attempt can't run any more. Returns the next inventory request, or `None` while more fences are
+    /// pending there.
+    pub fn fence_confirmed(
+        &mut self,
+        server: u32,
+        attempt_name: &str,
+    ) -> Option<ReconciliationStep> {
+        if let Some(attempt) = self.unresolved.get_mut(attempt_name) {
+            attempt.fenced = true;
         }
-        let left = self.fencing.get_mut(&server)?;
-        left.remove(name);
-        if !left.is_empty() {
+        let pending = self.pending_fences.get_mut(&server)?;
+        pending.remove(attempt_name);
+        if !pending.is_empty() {
             return None;
         }
-        self.fencing.remove(&server);
+        self.pending_fences.remove(&server);
         Some(ReconciliationStep::RequestInventory(server))
     }
 
-    /// A server told its book. `own`: whether this life of the front gave a name; such sessions are none of the past's.
+    /// Applies a server's inventory. `is_own` states whether an attempt's name was given by the present incarnation; such sessions
+    /// are not reconciled.
     pub fn receive_inventory(
         &mut self,
         server: u32,
-        book: &SessionInventory,
-        own: impl Fn(&str) -> bool,
-    ) -> (Vec<Resolution>, Vec<ReconciliationStep>) {
-        let (mut verdicts, mut steps) = (Vec::new(), Vec::new());
-        let ran: BTreeSet<&Key> = book.completed.iter().collect();
-        let mut told: BTreeSet<Key> = BTreeSet::new();
-        for held in book.sessions.iter().filter(|h| !own(&h.name)) {
-            let given_up = self.open.remove(&held.name).is_some_and(|o| o.given_up);
-            told.insert(held.key.clone());
-            verdicts.push(if given_up {
-                Resolution::TearDown(server, held.name.clone())
-            } else {
-                Resolution::Adopt(server, held.clone())
-            });
-        }
-        // Danger: a disk that was lost does not know of a set-up that a server still works on; it would run after this look, and its key
-        // be sold again. It is ended, or has run by the next look.
-        for name in book
-            .in_progress
-            .iter()
-            .filter(|name| !own(name) && !self.open.contains_key(*name))
-        {
-            self.fencing.entry(server).or_default().insert(name.clone());
-            steps.push(ReconciliationStep::Fence(server, name.clone()));
-        }
-        let names: Vec<String> = self
-            .open
-            .iter()
-            .filter(|(_, o)| o.server == server)
-            .map(|(n, _)| n.clone())
-            .collect();
-        for name in names {
-            let open = &self.open[&name];
-            let known = !open.boot.is_empty() && book.incarnations.contains(&open.boot);
-            let verdict = if open.plays {
-                Resolution::Completed(open.key.clone())
-            } else if ran.contains(&open.key) || !known {
-                Resolution::Unprovable(open.key.clone())
-            } else if open.fenced {
-                Resolution::NeverRan(open.key.clone())
-            } else {
-                self.fencing.entry(server).or_default().insert(name.clone());
-                steps.push(ReconciliationStep::Fence(server, name));
-                continue;
-            };
-            told.insert(open.key.clone());
-            self.open.remove(&name);
-            verdicts.push(verdict);
+        inventory: &SessionInventory,
+        is_own: impl Fn(&str) -> bool,
+    ) -> InventoryOutcome {
+        let mut outcome = InventoryOutcome::default();
+        let mut resolved_keys = BTreeSet::new();
+        self.resolve_held_sessions(server, inventory, &is_own, &mut resolved_keys, &mut outcome);
+        self.fence_unknown_attempts(server, inventory, &is_own, &mut outcome);
+        self.resolve_absent_attempts(server, inventory, &mut resolved_keys, &mut outcome);
+        self.report_completed_keys(inventory, &resolved_keys, &mut outcome);
+        if outcome.steps.is_empty() {
+            self.servers.insert(server, ServerState::Reconciled);
         }
-        // Danger: the disk may have lost its last words, or all. What a server ran is not set up again, whatever was kept.
-        let waits = |key: &Key| self.open.values().any(|o| o.key == *key);
-        let unheard = book
-            .completed
-            .iter()
-            .filter(|key| !told.contains(*key) && !waits(key))
-            .cloned();
-        verdicts.extend(unheard.map(Resolution::Completed));
-        if steps.is_empty() {
-            self.servers.insert(server, Asked::Told);
-        }
-        (verdicts, steps)
+        outcome
     }
-}
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn key(n: u32) -> Key {
-        Key {
-            tenant: String::new(),
-            bill: format!("b{n}"),
+    /// Adopts each held session of a previous incarnation, or tears it down if its viewer was given a failure.
+    fn resolve_held_sessions(
+        &mut self,
+        server: u32,
+        inventory: &SessionInventory,
+        is_own: &impl Fn(&str) -> bool,
+        resolved_keys: &mut BTreeSet<Key>,
+        outcome: &mut InventoryOutcome,
+    ) {
+        for session in &inventory.sessions {
+            if is_own(&session.name) {
+                continue;
+            }
+            let attempt = self.unresolved.remove(&session.name);
+            resolved_keys.insert(session.key.clone());
+            outcome
+                .resolutions
+                .push(if attempt.is_some_and(|attempt| attempt.timed_out) {
+                    Resolution::TearDown {
+                        server,
+                        attempt_name: session.name.clone(),
+                    }
+                } else {
+                    Resolution::Adopt {
+                        server,
+                        session: session.clone(),
+                    }
+                });
         }
     }
 
-    fn left(n: u32, server: u32, fate: IntentOutcome) -> (Key, Intent) {
-        let (class, name, boot) = ("paid".to_owned(), format!("n{n}"), "4".to_owned());
-        (
-            key(n),
-            Intent {
-                class,
-                server,
-                attempt_name: name,
-                server_incarnation: boot,
-                outcome: fate,
-                retained_until: u64::MAX,
-            },
-        )
-    }
-
-    fn book(boots: &[&str], held: &[u32], ran: &[u32]) -> SessionInventory {
-        let held = held.iter().map(|n| InventorySession {
-            name: format!("n{n}"),
-            key: key(*n),
-            ..InventorySession::default()
-        });
-        SessionInventory {
-            incarnations: boots.iter().map(|b| (*b).to_owned()).collect(),
-            sessions: held.collect(),
-            completed: ran.iter().map(|n| key(*n)).collect(),
-            in_progress: Vec::new(),
+    /// Fences set-ups in progress that no intent is known of.
+    ///
+    /// Why: a lost disk does not know of a set-up in progress. It would run after this inventory, and its key would be sold again.
+    /// Once it is fenced it has ended, or the next inventory shows that it ran.
+    fn fence_unknown_attempts(
+        &mut self,
+        server: u32,
+        inventory: &SessionInventory,
+        is_own: &impl Fn(&str) -> bool,
+        outcome: &mut InventoryOutcome,
+    ) {
+        for attempt_name in &inventory.in_progress {
+            if !is_own(attempt_name) && !self.unresolved.contains_key(attempt_name) {
+                self.fence(server, attempt_name.clone(), outcome);
+            }
         }
     }
 
-    fn none(_: &str) -> bool {
-        false
-    }
-
-    #[test]
-    fn never_ran_is_proven_only_after_the_end_and_a_second_look() {
-        let mut s = Reconciliation::new(&[left(1, 7, IntentOutcome::InFlight)]);
-        assert_eq!(
-            s.update_servers([7]),
-            [ReconciliationStep::RequestInventory(7)]
-        );
-        let empty = book(&["4"], &[], &[]);
-        assert_eq!(
-            s.receive_inventory(7, &empty, none),
-            (vec![], vec![ReconciliationStep::Fence(7, "n1".into())])
-        );
-        assert!(!s.is_complete());
-        assert_eq!(
-            s.fence_confirmed(7, "n1"),
-            Some(ReconciliationStep::RequestInventory(7))
-        );
-        assert_eq!(
-            s.receive_inventory(7, &empty, none).0,
-            [Resolution::NeverRan(key(1))]
-        );
-        assert!(s.is_complete() && s.unresolved_count() == 0);
-    }
-
-    #[test]
-    fn what_ran_between_the_two_looks_has_run() {
-        let mut s = Reconciliation::new(&[left(1, 7, IntentOutcome::InFlight)]);
-        s.update_servers([7]);
-        s.receive_inventory(7, &book(&["4"], &[], &[]), none);
-        s.fence_confirmed(7, "n1");
-        assert_eq!(
-            s.receive_inventory(7, &book(&["4"], &[], &[1]), none).0,
-            [Resolution::Unprovable(key(1))]
-        );
-    }
-
-    #[test]
-    fn a_book_that_does_not_reach_back_proves_nothing() {
-        for boots in [&["5"][..], &[]] {
-            let mut s = Reconciliation::new(&[left(1, 7, IntentOutcome::InFlight)]);
-            s.update_servers([7]);
-            assert_eq!(
-                s.receive_inventory(7, &book(boots, &[], &[]), none).0,
-                [Resolution::Unprovable(key(1))]
-            );
+    /// Resolves, or fences, the unresolved attempts at this server that its inventory does not hold.
+    fn resolve_absent_attempts(
+        &mut self,
+        server: u32,
+        inventory: &SessionInventory,
+        resolved_keys: &mut BTreeSet<Key>,
+        outcome: &mut InventoryOutcome,
+    ) {
+        let completed: BTreeSet<&Key> = inventory.completed.iter().collect();
+        let attempts_here: Vec<(String, UnresolvedAttempt)> = self
+            .unresolved
+            .iter()
+            .filter(|(_, attempt)| attempt.server == server)
+            .map(|(attempt_name, attempt)| (attempt_name.clone(), attempt.clone()))
+            .collect();
+        for (attempt_name, attempt) in attempts_here {
+            let Some(resolution) = attempt.resolve_absent(inventory, &completed) else {
+                self.fence(server, attempt_name, outcome);
+                continue;
+            };
+            self.unresolved.remove(&attempt_name);
+            resolved_keys.insert(attempt.key);
+            outcome.resolutions.push(resolution);
         }
-        let mut s = Reconciliation::new(&[left(1, 7, IntentOutcome::InFlight)]);
-        assert!(
-            matches!(
-                s.receive_inventory(7, &book(&["4", "5"], &[], &[]), none).1[..],
-                [ReconciliationStep::Fence(..)]
-            ),
-            "it reaches over both"
-        );
     }
 
-    #[test]
-    fn what_is_held_is_taken_up_and_what_is_over_is_spent() {
-        let mut s = Reconciliation::new(&[
-            left(1, 7, IntentOutcome::InFlight),
-            left(2, 7, IntentOutcome::Established),
-            left(3, 8, IntentOutcome::Established),
-        ]);
-        s.update_servers([7, 8]);
-        let (verdicts, _) = s.receive_inventory(7, &book(&["4"], &[1, 9], &[1]), none);
-        let adopted = |v: &Resolution| {
-            if let Resolution::Adopt(7, held) = v {
-                Some(held.name.clone())
-            } else {
-                None
+    /// Reports the completed keys that are neither resolved above nor unresolved at another server.
+    ///
+    /// Why: the disk may have lost its last writes, or all. What a server ran is not set up again, whatever was persisted.
+    fn report_completed_keys(
+        &self,
+        inventory: &SessionInventory,
+        resolved_keys: &BTreeSet<Key>,
+        outcome: &mut InventoryOutcome,
+    ) {
+        let unresolved_keys: BTreeSet<&Key> = self
+            .unresolved
+            .values()
+            .map(|attempt| &attempt.key)
+            .collect();
+        for key in &inventory.completed {
+            if !resolved_keys.contains(key) && !unresolved_keys.contains(key) {
+                outcome.resolutions.push(Resolution::Completed(key.clone()));
             }
-        };
-        assert_eq!(
-            verdicts.iter().filter_map(adopted).collect::<Vec<_>>(),
-            ["n1", "n9"]
-        );
-        assert!(verdicts.contains(&Resolution::Completed(key(2))) && verdicts.len() == 3);
-        assert_eq!(s.unresolved_count(), 1, "the one at the other server");
-    }
-
-    #[test]
-    fn sessions_of_this_life_are_left_alone() {
-        let mut s = Reconciliation::new(&[]);
-        assert_eq!(
-            s.receive_inventory(7, &book(&["4"], &[1], &[]), |name| name == "n1")
-                .0,
-            []
-        );
-    }
-
-    #[test]
-    fn a_lost_disk_is_made_good_by_what_servers_ran() {
-        let mut s = Reconciliation::new(&[]);
-        s.update_servers([7]);
-        assert_eq!(
-            s.receive_inventory(7, &book(&["4"], &[], &[1, 2]), none).0,
-            [Resolution::Completed(key(1)), Resolution::Completed(key(2))]
-        );
-    }
-
-    #[test]
-    fn a_set_up_under_way_that_nobody_remembers_is_ended_before_anything_is_served() {
-        let mut s = Reconciliation::new(&[]);
-        s.update_servers([7]);
-        let works = SessionInventory {
-            in_progress: vec!["n5".into()],
-            ..book(&["4"], &[], &[])
-        };
-        assert_eq!(
-            s.receive_inventory(7, &works, none),
-            (vec![], vec![ReconciliationStep::Fence(7, "n5".into())])
-        );
-        assert!(!s.is_complete());
-        assert_eq!(
-            s.fence_confirmed(7, "n5"),
-            Some(ReconciliationStep::RequestInventory(7))
-        );
-        assert_eq!(
-            s.receive_inventory(7, &book(&["4"], &[], &[5]), none).0,
-            [Resolution::Completed(key(5))],
-            "it ran meanwhile"
-        );
-        assert!(s.is_complete());
-    }
-
-    #[test]
-    fn a_server_out_of_reach_holds_nobody_up_and_is_asked_when_it_is_back() {
-        let mut s = Reconciliation::new(&[left(1, 7, IntentOutcome::InFlight)]);
-        s.update_servers([7, 8]);
-        s.receive_inventory(8, &book(&["1"], &[], &[]), none);
-        assert!(!s.is_complete());
-        s.server_unreachable(7);
-        assert!(s.is_complete() && s.counts() == (1, 1, 0));
-        assert_eq!(s.time_out(), [key(1)]);
-        assert_eq!(s.time_out(), [], "said once");
-        assert_eq!(
-            (
-                s.server_reachable(7),
-                s.server_reachable(7),
-                s.server_reachable(8)
-            ),
-            (Some(ReconciliationStep::RequestInventory(7)), None, None)
-        );
-        // Its viewer was told that it failed, so nobody comes for it.
-        assert_eq!(
-            s.receive_inventory(7, &book(&["4"], &[1], &[1]), none).0,
-            [Resolution::TearDown(7, "n1".into())]
-        );
+        }
     }
 
-    #[test]
-    fn a_bill_of_one_server_does_not_decide_on_an_attempt_at_another() {
-        // The first attempt never ran at 8, by its own word; the second is open at 7. What 8 ran under this key was before.
-        let mut s = Reconciliation::new(&[left(1, 7, IntentOutcome::InFlight)]);
-        s.update_servers([7, 8]);
-        assert_eq!(
-            s.receive_inventory(8, &book(&["4"], &[], &[1]), none).0,
-            [],
-            "7 is still to tell"
-        );
-        s.receive_inventory(7, &book(&["4"], &[], &[]), none);
-        s.fence_confirmed(7, "n1");
-        let (verdicts, _) = s.receive_inventory(7, &book(&["4"], &[], &[]), none);
-        assert_eq!(verdicts, [Resolution::NeverRan(key(1))]);
+    fn fence(&mut self, server: u32, attempt_name: String, outcome: &mut InventoryOutcome) {
+        self.pending_fences
+            .entry(server)
+            .or_default()
+            .insert(attempt_name.clone());
+        outcome.steps.push(ReconciliationStep::Fence {
+            server,
+            attempt_name,
+        });
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/recovery/src/reconciliation/outcome.rs
@@ -0,0 +1,62 @@
+//! What reconciliation decides, and what it requests from servers.
+use super::InventorySession;
+use crate::intents::Key;
+
+/// What an inventory proves about a paid key or a session.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Resolution {
+    /// The session is established at the server: it is adopted and waits for its viewer.
+    Adopt {
+        /// The server that holds it.
+        server: u32,
+        /// The session.
+        session: InventorySession,
+    },
+    /// The session is established at the server, but a failure was already reported to its viewer: it is torn down.
+    TearDown {
+        /// The server that holds it.
+        server: u32,
+        /// The name of its attempt there.
+        attempt_name: String,
+    },
+    /// The key's session ran and has ended.
+    Completed(Key),
+    /// The key's session may have run, and it can no longer be proven that it did not.
+    Unprovable(Key),
+    /// The key's session never ran and never will.
+    NeverRan(Key),
+}
+
+/// A request to a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReconciliationStep {
+    /// Request the server's inventory.
+    RequestInventory(u32),
+    /// Fence the attempt: end it by its name, so that it cannot run any more. Then request the inventory again.
+    Fence {
+        /// The server.
+        server: u32,
+        /// The attempt's name there.
+        attempt_name: String,
+    },
+}
+
+/// The result of an inventory, in the order in which it is to be applied: resolutions first.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct InventoryOutcome {
+    /// What the inventory proves.
+    pub resolutions: Vec<Resolution>,
+    /// What is to be requested next; if empty, the server is reconciled.
+    pub steps: Vec<ReconciliationStep>,
+}
+
+/// Listed servers by the state of their reconciliation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerCounts {
+    /// Servers whose inventory resolved all that it could.
+    pub reconciled: usize,
+    /// Servers that are unreachable.
+    pub unreachable: usize,
+    /// Servers whose answer is awaited.
+    pub pending: usize,
+}
--- a/crates/recovery/src/recovered_state.rs
+++ b/crates/recovery/src/recovered_state.rs
@@ -1,31 +1,31 @@
-//! What a front starts from.
+//! The state that a front starts from.
 use crate::intents::{Intent, Key};
 use crate::power_loss_policy::{ConservativeBound, StillValid};
 
-/// How the former life ended.
+/// How the previous incarnation of the front ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PreviousShutdown {
-    /// There is nothing of a former life: this is the first, or its disk was lost.
+    /// There is no state of a previous incarnation: this is the first one, or its disk was lost.
     Unknown,
-    /// In order: nothing was left open.
+    /// By a graceful shutdown; nothing was left unresolved.
     Clean,
-    /// The process ended without a word; its host went on.
+    /// The process ended without a shutdown, and its host kept running.
     Killed,
-    /// Its host was booted since.
+    /// The host was booted since.
     PowerLost,
 }
 
-/// What a front starts from.
+/// The state that a front starts from.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RecoveredState {
-    /// How often it started, this time with it.
+    /// The number of starts of this front, including this one.
     pub epoch: StillValid<u64>,
-    /// Paid keys of former lives.
+    /// Paid keys of previous incarnations.
     pub intents: StillValid<Vec<(Key, Intent)>>,
-    /// So many fronts the fleet had at the most that was known.
+    /// The largest fleet size known, in fronts.
     pub fleet_size: ConservativeBound<u32>,
-    /// How the former life ended.
+    /// How the previous incarnation ended.
     pub shutdown: PreviousShutdown,
-    /// Milliseconds that all lives ran together, as far as they were kept.
+    /// The accumulated uptime of all incarnations, as far as it was persisted, in milliseconds.
     pub uptime_ms: StillValid<u64>,
 }
--- a/crates/recovery/src/stages.rs
+++ b/crates/recovery/src/stages.rs
@@ -1,390 +1,312 @@
-//! The order in which service returns.
+//! The staged return of service after a start.
 //!
-//! Dark, reading, settling, paid, all, normal: each step has its evidence and an end by time. Danger: a crowd that lost its sessions
-//! comes back in one instant to servers that are all cold, and to a front that does not know yet which paid set-ups it had begun.
-//! Covered: until these are settled requests are held, then paid classes go alone while servers warm, and the rest is told when to
-//! come, spread over the time that warming takes. Harm: who asks for a free session waits longer than room alone would need.
-//! After a life that ended in order nothing of this is needed, and a front is normal at once.
+//! The stages are offline, reading, reconciling, paid classes only, all classes, normal. Each transition has its evidence and a time
+//! limit.
+//!
+//! Why: after a power loss all viewers return at once, to servers that are all warming up and to a front that does not know yet which
+//! paid set-ups it had begun. Until these are reconciled requests are queued; then paid classes are served alone while servers warm
+//! up, and other requests get a retry time, spread over the warm-up. The price is that a free session waits longer than capacity
+//! alone would require.
+//!
+//! After a graceful shutdown none of this is needed, and a front is normal at once.
 use crate::recovered_state::PreviousShutdown;
 
-/// How far service is back.
+/// How far service has returned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RecoveryStage {
     /// Nothing is known.
     Offline,
-    /// What was kept is being read.
+    /// The persisted state is being read.
     Reading,
-    /// Servers are asked what became of what was begun.
+    /// Servers are queried for the outcome of unresolved set-ups.
     Reconciling,
     /// Paid classes are served.
     PaidOnly,
-    /// All are served; the fleet may still be cold and smaller than it was.
+    /// All classes are served; the fleet may still be warming up and smaller than before.
     AllClasses,
-    /// As ever.
+    /// Recovery has ended.
     Normal,
 }
 
-/// Bounds of the steps, nanoseconds.
+/// Time limits of the stages, in nanoseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StageTimeouts {
-    /// Servers that are listed have so long to tell.
+    /// How long listed servers have to answer the reconciliation.
     pub reconciliation_timeout: u64,
-    /// Paid classes go alone until none of theirs was turned away for so long ...
+    /// Paid classes are served alone until none of their requests was rejected for this long ...
     pub paid_quiet_period: u64,
-    /// ... and no longer than this.
+    /// ... but no longer than this.
     pub paid_only_timeout: u64,
-    /// A server is warm after this time.
+    /// How long a server takes to warm up.
     pub warm_up_duration: u64,
 }
 
-/// Why a step was taken.
+/// Why a stage was entered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StageEvidence {
     /// The process started.
     Started,
-    /// The former life had ended in order.
+    /// The previous incarnation ended by a graceful shutdown.
     CleanShutdown,
-    /// The disk began to be read.
+    /// The disk can be read.
     DiskAvailable,
-    /// All that was kept is read.
+    /// The persisted state is read.
     StateRead,
-    /// Each server told, or can't be reached.
+    /// Each server sent its inventory or is unreachable.
     InventoriesReceived,
-    /// No paid request was turned away for a while.
+    /// No paid request was rejected for a while.
     PaidDemandServed,
-    /// Servers had time to warm.
+    /// Servers had time to warm up.
     WarmedUp,
-    /// The step's time was over.
+    /// The time limit of the previous stage passed.
     TimedOut,
 }
 
-/// What to do with a request.
+/// An entered stage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StageTransition {
+    /// When it was entered, in nanoseconds of the caller's clock.
+    pub at: u64,
+    /// The stage.
+    pub stage: RecoveryStage,
+    /// Why it was entered.
+    pub evidence: StageEvidence,
+}
+
+/// What to do with a request during recovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RecoveryAdmission {
     /// Serve it.
     Serve,
-    /// Let it wait: it will be known soon.
+    /// Queue it: the decision will be possible soon.
     Queue,
-    /// It is to come back after `after` nanoseconds, spread over further `over`.
+    /// Reject it; it may be retried `after` nanoseconds, spread over a further `over`.
     RetryLater {
-        /// Nanoseconds.
+        /// Nanoseconds until the first retry.
         after: u64,
-        /// Nanoseconds.
+        /// Nanoseconds over which retries are spread.
         over: u64,
     },
 }
 
-/// How service returns after a start.
+/// The staged return of service after a start. All times are nanoseconds of the caller's clock.
 #[derive(Clone, Debug)]
 pub struct StagedRecovery {
-    terms: StageTimeouts,
+    timeouts: StageTimeouts,
     stage: RecoveryStage,
-    since: u64,
-    listed: Option<u64>,
-    turned_away: Option<u64>, // When the last paid request that was may be back.
-    settled: bool,
-    steps: Vec<(u64, RecoveryStage, StageEvidence)>,
+    stage_entered_at: u64,
+    /// When servers were first listed.
+    endpoints_known_at: Option<u64>,
+    /// The latest time at which a rejected paid request may be retried.
+    paid_retry_expected_at: Option<u64>,
+    reconciliation_completed: bool,
+    transitions: Vec<StageTransition>,
 }
 
 impl StagedRecovery {
-    /// A front that starts.
-    pub fn new(terms: StageTimeouts, now: u64) -> StagedRecovery {
+    /// A front that starts at `now`.
+    pub fn new(timeouts: StageTimeouts, now: u64) -> StagedRecovery {
+        let started = StageTransition {
+            at: now,
+            stage: RecoveryStage::Offline,
+            evidence: StageEvidence::Started,
+        };
         StagedRecovery {
-            terms,
+            timeouts,
             stage: RecoveryStage::Offline,
-            since: now,
-            listed: None,
-            turned_away: None,
-            settled: false,
-            steps: vec![(now, RecoveryStage::Offline, StageEvidence::Started)],
+            stage_entered_at: now,
+            endpoints_known_at: None,
+            paid_retry_expected_at: None,
+            reconciliation_completed: false,
+            transitions: vec![started],
         }
     }
 
-    /// A front without a store: there is no past to return from.
+    /// A front without a store: there is no state to recover, and it is normal at once.
     pub fn not_needed(now: u64) -> StagedRecovery {
-        let terms = StageTimeouts {
+        let timeouts = StageTimeouts {
             reconciliation_timeout: 0,
             paid_quiet_period: 0,
             paid_only_timeout: 0,
             warm_up_duration: 0,
         };
-        let mut returning = StagedRecovery::new(terms, now);
-        returning.go(now, RecoveryStage::Normal, StageEvidence::CleanShutdown);
-        returning
+        let mut recovery = StagedRecovery::new(timeouts, now);
+        recovery.enter(now, RecoveryStage::Normal, StageEvidence::CleanShutdown);
+        recovery
     }
 
-    /// How far it is.
+    /// The present stage.
+    #[must_use]
     pub fn stage(&self) -> RecoveryStage {
         self.stage
     }
 
-    /// Each step with its time and its reason, in order.
-    pub fn steps(&self) -> &[(u64, RecoveryStage, StageEvidence)] {
-        &self.steps
+    /// The stages entered so far, in order.
+    #[must_use]
+    pub fn transitions(&self) -> &[StageTransition] {
+        &self.transitions
     }
 
-    fn go(&mut self, now: u64, stage: RecoveryStage, why: StageEvidence) {
-        if stage > self.stage {
-            (self.stage, self.since) = (stage, now);
-            self.steps.push((now, stage, why));
+    /// Enters a later stage; an earlier one or the present one is ignored.
+    fn enter(&mut self, now: u64, stage: RecoveryStage, evidence: StageEvidence) {
+        if stage <= self.stage {
+            return;
         }
+        self.stage = stage;
+        self.stage_entered_at = now;
+        self.transitions.push(StageTransition {
+            at: now,
+            stage,
+            evidence,
+        });
     }
 
-    /// What was kept begins to be read.
+    /// Reading the persisted state begins.
     pub fn start_reading(&mut self, now: u64) {
-        self.go(now, RecoveryStage::Reading, StageEvidence::DiskAvailable);
+        self.enter(now, RecoveryStage::Reading, StageEvidence::DiskAvailable);
     }
 
-    /// What was kept is read.
-    pub fn state_read(&mut self, now: u64, ended: PreviousShutdown) {
-        match ended {
+    /// The persisted state is read; the previous incarnation ended by `previous_shutdown`.
+    pub fn state_read(&mut self, now: u64, previous_shutdown: PreviousShutdown) {
+        match previous_shutdown {
             PreviousShutdown::Clean => {
-                self.go(now, RecoveryStage::Normal, StageEvidence::CleanShutdown);
+                self.enter(now, RecoveryStage::Normal, StageEvidence::CleanShutdown);
             }
             PreviousShutdown::Unknown | PreviousShutdown::Killed | PreviousShutdown::PowerLost => {
-                self.go(now, RecoveryStage::Reconciling, StageEvidence::StateRead);
+                self.enter(now, RecoveryStage::Reconciling, StageEvidence::StateRead);
             }
         }
     }
 
-    /// Servers are known, so that they can be asked.
+    /// Servers are listed, so that they can be queried.
     pub fn endpoints_known(&mut self, now: u64) {
-        self.listed.get_or_insert(now);
+        self.endpoints_known_at.get_or_insert(now);
         self.expire(now);
     }
 
-    /// Each server that is listed told, or can't be reached.
+    /// Each listed server sent its inventory or is unreachable.
     pub fn reconciliation_completed(&mut self, now: u64) {
-        self.settled = true;
+        self.reconciliation_completed = true;
         self.expire(now);
     }
 
-    /// A paid request found no room, and was told to come back after so long. Danger: who was told to stay away asks for nothing
-    /// meanwhile, and a calm that only looks at who asks ends while they are away; free sessions then take the turns at cold servers
-    /// that theirs need. So the calm counts from when the last of them may be back.
-    pub fn paid_rejected(&mut self, now: u64, stays_away: u64) {
-        self.turned_away = self.turned_away.max(Some(now.saturating_add(stays_away)));
+    /// A paid request was rejected for lack of capacity, and its viewer was asked to retry after `retry_after` nanoseconds.
+    ///
+    /// Why the quiet period starts at the latest expected retry: a viewer who waits for a retry sends nothing meanwhile. A quiet
+    /// period that counted requests alone would end while such viewers wait, and free sessions would then take the admission slots at
+    /// warming servers that the paid ones need.
+    pub fn paid_rejected(&mut self, now: u64, retry_after: u64) {
+        let retry_expected_at = now.saturating_add(retry_after);
+        self.paid_retry_expected_at = self.paid_retry_expected_at.max(Some(retry_expected_at));
     }
 
-    /// When [`StagedRecovery::expire`] is to be called next.
+    /// When [`StagedRecovery::expire`] is to be called next; `None`: never.
+    #[must_use]
     pub fn next_expiry(&self) -> Option<u64> {
         match self.stage {
             RecoveryStage::Reconciling => self
-                .listed
-                .map(|t| t.saturating_add(self.terms.reconciliation_timeout)),
-            RecoveryStage::PaidOnly => Some(
-                self.calm_at()
-                    .min(self.since.saturating_add(self.terms.paid_only_timeout)),
-            ),
-            RecoveryStage::AllClasses => {
-                Some(self.since.saturating_add(self.terms.warm_up_duration))
-            }
+                .endpoints_known_at
+                .map(|known_at| self.reconciliation_deadline(known_at)),
+            RecoveryStage::PaidOnly => Some(self.paid_quiet_at().min(self.paid_only_deadline())),
+            RecoveryStage::AllClasses => Some(self.warmed_up_at()),
             RecoveryStage::Offline | RecoveryStage::Reading | RecoveryStage::Normal => None,
         }
     }
 
-    fn calm_at(&self) -> u64 {
-        self.turned_away
+    fn reconciliation_deadline(&self, endpoints_known_at: u64) -> u64 {
+        endpoints_known_at.saturating_add(self.timeouts.reconciliation_timeout)
+    }
+
+    /// When no paid request was rejected for the quiet period.
+    fn paid_quiet_at(&self) -> u64 {
+        self.paid_retry_expected_at
             .unwrap_or(0)
-            .max(self.since)
-            .saturating_add(self.terms.paid_quiet_period)
+            .max(self.stage_entered_at)
+            .saturating_add(self.timeouts.paid_quiet_period)
+    }
+
+    fn paid_only_deadline(&self) -> u64 {
+        self.stage_entered_at
+            .saturating_add(self.timeouts.paid_only_timeout)
     }
 
-    /// Takes the steps that are due.
+    fn warmed_up_at(&self) -> u64 {
+        self.stage_entered_at
+            .saturating_add(self.timeouts.warm_up_duration)
+    }
+
+    /// Makes the transitions that are due. Several may be due at once.
     pub fn expire(&mut self, now: u64) {
-        if let (RecoveryStage::Reconciling, Some(listed)) = (self.stage, self.listed) {
-            if self.settled {
-                self.go(
-                    now,
-                    RecoveryStage::PaidOnly,
-                    StageEvidence::InventoriesReceived,
-                );
-            } else if now >= listed.saturating_add(self.terms.reconciliation_timeout) {
-                self.go(now, RecoveryStage::PaidOnly, StageEvidence::TimedOut);
-            }
+        self.finish_reconciling(now);
+        self.finish_paid_only(now);
+        self.finish_all_classes(now);
+    }
+
+    fn finish_reconciling(&mut self, now: u64) {
+        if self.stage != RecoveryStage::Reconciling {
+            return;
         }
-        if self.stage == RecoveryStage::PaidOnly {
-            if now >= self.since.saturating_add(self.terms.paid_only_timeout) {
-                self.go(now, RecoveryStage::AllClasses, StageEvidence::TimedOut);
-            } else if now >= self.calm_at() {
-                self.go(
-                    now,
-                    RecoveryStage::AllClasses,
-                    StageEvidence::PaidDemandServed,
-                );
-            }
+        let Some(endpoints_known_at) = self.endpoints_known_at else {
+            return;
+        };
+        let evidence = if self.reconciliation_completed {
+            StageEvidence::InventoriesReceived
+        } else if now >= self.reconciliation_deadline(endpoints_known_at) {
+            StageEvidence::TimedOut
+        } else {
+            return;
+        };
+        self.enter(now, RecoveryStage::PaidOnly, evidence);
+    }
+
+    fn finish_paid_only(&mut self, now: u64) {
+        if self.stage != RecoveryStage::PaidOnly {
+            return;
         }
-        if self.stage == RecoveryStage::AllClasses
-            && now >= self.since.saturating_add(self.terms.warm_up_duration)
-        {
-            self.go(now, RecoveryStage::Normal, StageEvidence::WarmedUp);
+        let evidence = if now >= self.paid_only_deadline() {
+            StageEvidence::TimedOut
+        } else if now >= self.paid_quiet_at() {
+            StageEvidence::PaidDemandServed
+        } else {
+            return;
+        };
+        self.enter(now, RecoveryStage::AllClasses, evidence);
+    }
+
+    fn finish_all_classes(&mut self, now: u64) {
+        if self.stage == RecoveryStage::AllClasses && now >= self.warmed_up_at() {
+            self.enter(now, RecoveryStage::Normal, StageEvidence::WarmedUp);
         }
     }
 
-    /// What to do with a request. Where no server is known there is nothing to wait for: it is told to come back.
+    /// What to do with a request. While no server is known there is nothing to wait for, and it is asked to retry later.
+    #[must_use]
     pub fn admit(&self, now: u64, paid: bool) -> RecoveryAdmission {
-        let left = |time: u64| self.since.saturating_add(time).saturating_sub(now);
         match self.stage {
             RecoveryStage::Offline | RecoveryStage::Reading => RecoveryAdmission::Queue,
-            RecoveryStage::Reconciling
-                if self.listed.is_some() || left(self.terms.reconciliation_timeout) > 0 =>
-            {
-                RecoveryAdmission::Queue
-            }
-            RecoveryStage::Reconciling => RecoveryAdmission::RetryLater {
-                after: self.terms.reconciliation_timeout,
-                over: self.terms.reconciliation_timeout,
-            },
+            RecoveryStage::Reconciling => self.admit_while_reconciling(now),
             RecoveryStage::PaidOnly if !paid => RecoveryAdmission::RetryLater {
-                after: left(self.terms.paid_only_timeout),
-                over: self.terms.warm_up_duration,
+                after: self.paid_only_deadline().saturating_sub(now),
+                over: self.timeouts.warm_up_duration,
             },
             RecoveryStage::PaidOnly | RecoveryStage::AllClasses | RecoveryStage::Normal => {
                 RecoveryAdmission::Serve
             }
         }
     }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use proptest::prelude::*;
 
-    const TERMS: StageTimeouts = StageTimeouts {
-        reconciliation_timeout: 100,
-        paid_quiet_period: 20,
-        paid_only_timeout: 300,
-        warm_up_duration: 1000,
-    };
-
-    fn at(stage: RecoveryStage) -> StagedRecovery {
-        let mut r = StagedRecovery::new(TERMS, 0);
-        r.start_reading(1);
-        r.state_read(2, PreviousShutdown::PowerLost);
-        if stage > RecoveryStage::Reconciling {
-            r.endpoints_known(3);
-            r.reconciliation_completed(4);
+    fn admit_while_reconciling(&self, now: u64) -> RecoveryAdmission {
+        let timeout = self.timeouts.reconciliation_timeout;
+        let waiting_ends_at = self.stage_entered_at.saturating_add(timeout);
+        if self.endpoints_known_at.is_some() || now < waiting_ends_at {
+            return RecoveryAdmission::Queue;
         }
-        r
-    }
-
-    #[test]
-    fn a_life_that_ended_in_order_has_nothing_to_settle() {
-        let mut r = StagedRecovery::new(TERMS, 0);
-        r.state_read(1, PreviousShutdown::Clean);
-        assert_eq!(
-            (r.stage(), r.next_expiry(), r.admit(1, false)),
-            (RecoveryStage::Normal, None, RecoveryAdmission::Serve)
-        );
-        assert_eq!(StagedRecovery::not_needed(5).stage(), RecoveryStage::Normal);
-    }
-
-    #[test]
-    fn all_wait_until_servers_told_and_then_paid_go_first() {
-        let mut r = at(RecoveryStage::Reconciling);
-        assert_eq!(
-            (r.admit(3, true), r.admit(3, false)),
-            (RecoveryAdmission::Queue, RecoveryAdmission::Queue)
-        );
-        r.reconciliation_completed(3);
-        assert_eq!(
-            r.stage(),
-            RecoveryStage::Reconciling,
-            "nobody is listed yet: nobody told anything"
-        );
-        r.endpoints_known(5);
-        assert_eq!(
-            (r.stage(), r.admit(5, true)),
-            (RecoveryStage::PaidOnly, RecoveryAdmission::Serve)
-        );
-        assert_eq!(
-            r.admit(5, false),
-            RecoveryAdmission::RetryLater {
-                after: 300,
-                over: 1000
-            }
-        );
-        r.paid_rejected(10, 7);
-        r.expire(36);
-        assert_eq!(
-            r.stage(),
-            RecoveryStage::PaidOnly,
-            "one may be back since 19"
-        );
-        r.expire(37);
-        assert_eq!(
-            r.steps().last(),
-            Some(&(
-                37,
-                RecoveryStage::AllClasses,
-                StageEvidence::PaidDemandServed
-            ))
-        );
-        r.expire(1037);
-        assert_eq!(
-            r.steps().last(),
-            Some(&(1037, RecoveryStage::Normal, StageEvidence::WarmedUp))
-        );
-    }
-
-    #[test]
-    fn each_step_ends_by_time_whatever_is_silent() {
-        let mut r = at(RecoveryStage::Reconciling);
-        r.endpoints_known(50);
-        assert_eq!(r.next_expiry(), Some(150));
-        r.expire(149);
-        assert_eq!(r.stage(), RecoveryStage::Reconciling);
-        r.expire(150);
-        assert_eq!(r.stage(), RecoveryStage::PaidOnly);
-        for now in 150..450 {
-            r.paid_rejected(now, 0);
-            r.expire(now);
-            assert_eq!(r.stage(), RecoveryStage::PaidOnly);
-        }
-        r.expire(450);
-        assert_eq!(
-            r.steps().last(),
-            Some(&(450, RecoveryStage::AllClasses, StageEvidence::TimedOut))
-        );
-    }
-
-    #[test]
-    fn without_a_list_nobody_is_kept_waiting_for_long() {
-        let r = at(RecoveryStage::Reconciling);
-        assert_eq!(r.admit(101, true), RecoveryAdmission::Queue);
-        assert!(matches!(
-            r.admit(102, true),
-            RecoveryAdmission::RetryLater { .. }
-        ));
-    }
-
-    proptest! {
-        /// Service never goes back, each step is dated in order, and with a list it is normal in the end.
-        #[test]
-        fn service_only_returns(events in proptest::collection::vec((0u8..5, 0u64..60), 0..80)) {
-            let mut r = at(RecoveryStage::Reconciling);
-            let mut now = 2;
-            for (kind, later) in events {
-                now += later;
-                let before = r.stage();
-                match kind {
-                    0 => r.endpoints_known(now),
-                    1 => r.reconciliation_completed(now),
-                    2 => r.paid_rejected(now, later),
-                    3 => r.state_read(now, PreviousShutdown::PowerLost),
-                    _ => r.expire(now),
-                }
-                prop_assert!(r.stage() >= before);
-                prop_assert!(r.next_expiry().is_none_or(|t| t > now) || kind == 2 || kind == 3);
-            }
-            r.endpoints_known(now);
-            for _ in 0..3 {
-                now += 2000;
-                r.expire(now);
-            }
-            prop_assert_eq!(r.stage(), RecoveryStage::Normal);
-            prop_assert!(r.steps().windows(2).all(|w| w[0].0 <= w[1].0 && w[0].1 < w[1].1));
+        RecoveryAdmission::RetryLater {
+            after: timeout,
+            over: timeout,
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/recovery/src/stages/tests.rs
@@ -0,0 +1,163 @@
+use super::*;
+use proptest::prelude::*;
+
+const TIMEOUTS: StageTimeouts = StageTimeouts {
+    reconciliation_timeout: 100,
+    paid_quiet_period: 20,
+    paid_only_timeout: 300,
+    warm_up_duration: 1000,
+};
+
+/// A recovery after a power loss that has reached this stage.
+fn recovery_in(stage: RecoveryStage) -> StagedRecovery {
+    let mut recovery = StagedRecovery::new(TIMEOUTS, 0);
+    recovery.start_reading(1);
+    recovery.state_read(2, PreviousShutdown::PowerLost);
+    if stage > RecoveryStage::Reconciling {
+        recovery.endpoints_known(3);
+        recovery.reconciliation_completed(4);
+    }
+    recovery
+}
+
+fn transition(at: u64, stage: RecoveryStage, evidence: StageEvidence) -> StageTransition {
+    StageTransition {
+        at,
+        stage,
+        evidence,
+    }
+}
+
+#[test]
+fn after_a_graceful_shutdown_service_is_normal_at_once() {
+    let mut recovery = StagedRecovery::new(TIMEOUTS, 0);
+    recovery.state_read(1, PreviousShutdown::Clean);
+    assert_eq!(
+        (
+            recovery.stage(),
+            recovery.next_expiry(),
+            recovery.admit(1, false)
+        ),
+        (RecoveryStage::Normal, None, RecoveryAdmission::Serve)
+    );
+    assert_eq!(StagedRecovery::not_needed(5).stage(), RecoveryStage::Normal);
+}
+
+#[test]
+fn all_requests_queue_until_reconciled_and_then_paid_ones_are_served_first() {
+    let mut recovery = recovery_in(RecoveryStage::Reconciling);
+    assert_eq!(
+        (recovery.admit(3, true), recovery.admit(3, false)),
+        (RecoveryAdmission::Queue, RecoveryAdmission::Queue)
+    );
+    recovery.reconciliation_completed(3);
+    assert_eq!(
+        recovery.stage(),
+        RecoveryStage::Reconciling,
+        "no server is listed yet, so none was queried"
+    );
+    recovery.endpoints_known(5);
+    assert_eq!(
+        (recovery.stage(), recovery.admit(5, true)),
+        (RecoveryStage::PaidOnly, RecoveryAdmission::Serve)
+    );
+    assert_eq!(
+        recovery.admit(5, false),
+        RecoveryAdmission::RetryLater {
+            after: 300,
+            over: 1000
+        }
+    );
+    recovery.paid_rejected(10, 7);
+    recovery.expire(36);
+    assert_eq!(
+        recovery.stage(),
+        RecoveryStage::PaidOnly,
+        "a retry is expected at 17, and the quiet period of 20 ends at 37"
+    );
+    recovery.expire(37);
+    assert_eq!(
+        recovery.transitions().last(),
+        Some(&transition(
+            37,
+            RecoveryStage::AllClasses,
+            StageEvidence::PaidDemandServed
+        ))
+    );
+    recovery.expire(1037);
+    assert_eq!(
+        recovery.transitions().last(),
+        Some(&transition(
+            1037,
+            RecoveryStage::Normal,
+            StageEvidence::WarmedUp
+        ))
+    );
+}
+
+#[test]
+fn each_stage_times_out_without_evidence() {
+    let mut recovery = recovery_in(RecoveryStage::Reconciling);
+    recovery.endpoints_known(50);
+    assert_eq!(recovery.next_expiry(), Some(150));
+    recovery.expire(149);
+    assert_eq!(recovery.stage(), RecoveryStage::Reconciling);
+    recovery.expire(150);
+    assert_eq!(recovery.stage(), RecoveryStage::PaidOnly);
+    for now in 150..450 {
+        recovery.paid_rejected(now, 0);
+        recovery.expire(now);
+        assert_eq!(recovery.stage(), RecoveryStage::PaidOnly);
+    }
+    recovery.expire(450);
+    assert_eq!(
+        recovery.transitions().last(),
+        Some(&transition(
+            450,
+            RecoveryStage::AllClasses,
+            StageEvidence::TimedOut
+        ))
+    );
+}
+
+#[test]
+fn without_an_endpoint_list_requests_queue_only_for_the_reconciliation_timeout() {
+    let recovery = recovery_in(RecoveryStage::Reconciling);
+    assert_eq!(recovery.admit(101, true), RecoveryAdmission::Queue);
+    assert!(matches!(
+        recovery.admit(102, true),
+        RecoveryAdmission::RetryLater { .. }
+    ));
+}
+
+proptest! {
+    /// Stages are entered in order of time and never left backwards, and with an endpoint list service becomes normal.
+    #[test]
+    fn stages_only_advance_and_end_in_normal(events in proptest::collection::vec((0u8..5, 0u64..60), 0..80)) {
+        let mut recovery = recovery_in(RecoveryStage::Reconciling);
+        let mut now = 2;
+        for (kind, delay) in events {
+            now += delay;
+            let stage_before = recovery.stage();
+            match kind {
+                0 => recovery.endpoints_known(now),
+                1 => recovery.reconciliation_completed(now),
+                2 => recovery.paid_rejected(now, delay),
+                3 => recovery.state_read(now, PreviousShutdown::PowerLost),
+                _ => recovery.expire(now),
+            }
+            prop_assert!(recovery.stage() >= stage_before);
+            prop_assert!(recovery.next_expiry().is_none_or(|expiry| expiry > now) || kind == 2 || kind == 3);
+        }
+        recovery.endpoints_known(now);
+        for _ in 0..3 {
+            now += 2000;
+            recovery.expire(now);
+        }
+        prop_assert_eq!(recovery.stage(), RecoveryStage::Normal);
+        prop_assert!(recovery
+            .transitions()
+            .windows(2)
+            .all(|pair| pair[0].at <= pair[1].at && pair[0].stage < pair[1].stage));
+    }
+}
--- a/crates/recovery/tests/crash.rs
+++ b/crates/recovery/tests/crash.rs
@@ -116,11 +116,15 @@
         for step in steps {
             match step {
                 ReconciliationStep::RequestInventory(_) => front.asked = true,
-                ReconciliationStep::Fence(_, name) if guards.fence => {
+                ReconciliationStep::Fence {
+                    attempt_name: name, ..
+                } if guards.fence => {
                     front.fences.insert(name);
                 }
                 // Said to be ended, and it is not.
-                ReconciliationStep::Fence(_, name) => drop(front.fenced.insert(name)),
+                ReconciliationStep::Fence {
+                    attempt_name: name, ..
+                } => drop(front.fenced.insert(name)),
             }
         }
         front.serves |= front.settling.is_complete();
@@ -130,7 +134,7 @@
         let Some(front) = &mut self.front else { return };
         for verdict in verdicts {
             let write = match verdict {
-                Resolution::Adopt(_, held) => Some(front.ledger.insert_recovered(
+                Resolution::Adopt { session: held, .. } => Some(front.ledger.insert_recovered(
                     held.key,
                     intent(held.class, held.name, IntentOutcome::Established),
                 )),
@@ -145,7 +149,7 @@
                         None => None,
                     }
                 }
-                Resolution::TearDown(..) => None,
+                Resolution::TearDown { .. } => None,
             };
             self.unsynced.extend(write);
         }
@@ -306,11 +310,11 @@
                 let front = s.front.as_mut()?;
                 let book = front.book.take()?;
                 let own = front.own.clone();
-                let (verdicts, steps) = front
+                let outcome = front
                     .settling
                     .receive_inventory(SERVER, &book, |name| own.contains(name));
-                s.hear(verdicts, guards);
-                s.take_steps(steps, guards);
+                s.hear(outcome.resolutions, guards);
+                s.take_steps(outcome.steps, guards);
             }
             Action::FenceArrives(name) => {
                 s.works.remove(&name);
