--- a/crates/recovery/src/reconciliation.rs
+++ b/crates/recovery/src/reconciliation.rs
@@ -212,7 +212,7 @@
     ) -> InventoryOutcome {
         let mut outcome = InventoryOutcome::default();
         let mut resolved_keys = BTreeSet::new();
-        self.resolve_held_sessions(server, inventory, &is_own, &mut resolved_keys, &mut outcome);
+        self.resolve_listed_sessions(server, inventory, &is_own, &mut resolved_keys, &mut outcome);
         self.fence_unknown_attempts(server, inventory, &is_own, &mut outcome);
         self.resolve_absent_attempts(server, inventory, &mut resolved_keys, &mut outcome);
         self.report_completed_keys(inventory, &resolved_keys, &mut outcome);
@@ -222,8 +222,8 @@
         outcome
     }
 
-    /// Adopts each held session of a previous incarnation, or tears it down if its viewer was given a failure.
-    fn resolve_held_sessions(
+    /// Adopts each listed session of a previous incarnation, or tears it down if its viewer was given a failure.
+    fn resolve_listed_sessions(
         &mut self,
         server: u32,
         inventory: &SessionInventory,
@@ -271,7 +271,7 @@
         }
     }
 
-    /// Resolves, or fences, the unresolved attempts at this server that its inventory does not hold.
+    /// Resolves, or fences, the unresolved attempts at this server that its inventory does not list.
     fn resolve_absent_attempts(
         &mut self,
         server: u32,
