Store: modules for database, version file and writer, and causes in its errors

Cause: opening a folder was one function of 52 lines beside lock, version and quarantine; the error for a damaged file carried a text; names were the house's own. Change: database.rs (open and read, the work-arounds for redb 4.6.0), version_file.rs, open.rs, tables.rs and writer.rs have one job each; Error::Corrupted has a typed source; error codes stay, their advice is worded plainly on docs/errors.md too. Stored names, keys and orders are as they were.

--- /dev/null
+++ b/crates/store/src/database.rs
@@ -0,0 +1,41 @@
+//! Opening the database and reading all that it holds.
+use crate::errors::{Corruption, Error};
+use crate::tables::{self, StoredState};
+use redb::{Builder, Database, DatabaseError};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::path::Path;
+
+/// The database's page cache, in bytes. A front's entries are small, and it reads them once, at the start.
+const CACHE_BYTES: usize = 16 << 20;
+
+/// Opens the database with the given settings; called again after a fault of the disk.
+pub(crate) type DatabaseOpener = Box<dyn Fn(&Builder) -> Result<Database, DatabaseError> + Send>;
+
+/// An open database, and what it held when it was opened.
+pub(crate) struct LoadedDatabase {
+    pub(crate) database: Database,
+    pub(crate) state: StoredState,
+}
+
+/// Opens the database and reads it.
+///
+/// Work-around for redb 4.6.0, which may panic on content that it did not write. Its integrity check finds such content at the price
+/// of reading the whole file; a panic all the same counts as corruption.
+pub(crate) fn load(dir: &Path, opener: &DatabaseOpener) -> Result<LoadedDatabase, Error> {
+    let mut builder = Builder::new();
+    builder
+        .set_cache_size(CACHE_BYTES)
+        .set_check_integrity_on_open(true);
+    let loaded = catch_unwind(AssertUnwindSafe(|| open_and_read(dir, opener, &builder)));
+    loaded.unwrap_or_else(|_| Err(Error::corrupted(dir, Corruption::DatabasePanic)))
+}
+
+fn open_and_read(
+    dir: &Path,
+    opener: &DatabaseOpener,
+    builder: &Builder,
+) -> Result<LoadedDatabase, Error> {
+    let database = opener(builder).map_err(|error| Error::from_database(dir, error))?;
+    let state = tables::read(&database).map_err(|error| Error::from_database(dir, error))?;
+    Ok(LoadedDatabase { database, state })
+}
--- a/crates/store/src/errors.rs
+++ b/crates/store/src/errors.rs
@@ -1,83 +1,142 @@
-//! What can go wrong with a store, and what an operator can do.
+//! Errors of a store, and what an operator can do about each.
 use miette::Diagnostic;
-use std::io;
-use std::path::PathBuf;
-use thiserror::Error as Derive;
+use std::io::{self, ErrorKind};
+use std::path::{Path, PathBuf};
 
 /// Why a store can't be used.
-#[derive(Debug, Derive, Diagnostic)]
+#[derive(Debug, thiserror::Error, Diagnostic)]
 pub enum Error {
-    /// Two fronts were given one folder.
+    /// Another process has the folder open.
     #[error("{}: another process has this store open", dir.display())]
     #[diagnostic(
         code(store::locked),
-        help("give each front a store.dir of its own; if a former process of this front still ends, start again when it has")
+        help("give each front a store.dir of its own; if a previous process of this front is still shutting down, start again once it has exited")
     )]
     Locked {
         /// The folder.
         dir: PathBuf,
     },
-    /// A later release wrote it.
-    #[error("{}: version {found} of the store is from a later release; this one reads up to {known}", dir.display())]
+    /// A later release wrote the folder.
+    #[error("{}: version {found} of the store is from a later release; this one reads up to {supported}", dir.display())]
     #[diagnostic(
-        code(store::future),
-        help("start the release that wrote it, or give this one an empty store.dir; nothing in the folder was touched")
+        code(store::future), // The documented code; it stays the same over releases.
+        help("start the release that wrote it, or give this one an empty store.dir; nothing in the folder was changed")
     )]
-    Future {
+    NewerVersion {
         /// The folder.
         dir: PathBuf,
         /// The version found.
         found: u32,
-        /// The latest version known here.
-        known: u32,
+        /// The latest version that this release reads.
+        supported: u32,
     },
-    /// The disk does not do what it should.
+    /// Reading or writing the disk failed.
     #[error("{}: {source}", dir.display())]
     #[diagnostic(
         code(store::disk),
-        help("see that the disk is there, has room and can be written to; until then no paid session is set up, and free ones are served")
+        help("check that the disk is present, has free space and can be written to; until then no paid session is set up, and free ones are served")
     )]
     Disk {
         /// The folder.
         dir: PathBuf,
-        /// What the system said.
+        /// The system's error.
         source: io::Error,
     },
-    /// What is there is no store any more.
-    #[error("{}: {what}", dir.display())]
+    /// The folder's content is not a valid store.
+    #[error("{}: {source}", dir.display())]
     #[diagnostic(
-        code(store::torn),
-        help("the file was set aside in the folder and a new one begun; what servers ran is asked of them; keep the file if bills are disputed")
+        code(store::torn), // The documented code; it stays the same over releases.
+        help("the file was moved aside in the folder and a new one created; servers are queried for what they ran; keep the file if bills are disputed")
     )]
-    Torn {
+    Corrupted {
         /// The folder.
         dir: PathBuf,
-        /// What was found.
-        what: String,
+        /// What is wrong with it.
+        source: Corruption,
     },
 }
 
+/// What is wrong with the content of a store's folder.
+#[derive(Debug, thiserror::Error)]
+pub enum Corruption {
+    /// There is a database file without a valid version file.
+    #[error("its VERSION file is missing or not a number")]
+    VersionFile,
+    /// The database panicked while it read its file.
+    #[error("the database panicked while reading it")]
+    DatabasePanic,
+    /// The database found invalid content.
+    #[error("{0}")]
+    Content(String),
+    /// The database reported its content as an I/O error.
+    #[error(transparent)]
+    Io(io::Error),
+    /// The database can't use its file for another reason.
+    #[error(transparent)]
+    Database(Box<redb::Error>),
+}
+
 impl Error {
-    /// One of each kind, for the page on errors.
+    /// One error of each kind, for docs/errors.md.
+    #[must_use]
     pub fn samples() -> Vec<Error> {
         let dir = || PathBuf::from("DIR");
         vec![
             Error::Locked { dir: dir() },
-            Error::Future {
+            Error::NewerVersion {
                 dir: dir(),
                 found: 9,
-                known: 1,
+                supported: 1,
             },
             Error::Disk {
                 dir: dir(),
-                source: io::Error::from(io::ErrorKind::StorageFull),
+                source: io::Error::from(ErrorKind::StorageFull),
             },
-            Error::Torn {
+            Error::Corrupted {
                 dir: dir(),
-                what: "WHAT".into(),
+                source: Corruption::Content("WHAT".into()),
             },
         ]
     }
+
+    pub(crate) fn disk(dir: &Path, source: io::Error) -> Error {
+        Error::Disk {
+            dir: dir.to_owned(),
+            source,
+        }
+    }
+
+    pub(crate) fn corrupted(dir: &Path, source: Corruption) -> Error {
+        Error::Corrupted {
+            dir: dir.to_owned(),
+            source,
+        }
+    }
+
+    /// Classifies an error of the database: is the folder another process's, does the disk fail, or is the content invalid?
+    pub(crate) fn from_database(dir: &Path, error: impl Into<redb::Error>) -> Error {
+        match error.into() {
+            redb::Error::DatabaseAlreadyOpen | redb::Error::LockProtocolMismatch => Error::Locked {
+                dir: dir.to_owned(),
+            },
+            // Work-around for redb 4.6.0, which reports a file that is no database, or is too short, as an I/O error of these kinds. Why it
+            // matters: a corrupted file taken for a failing disk would stop paid service until an operator intervenes.
+            redb::Error::Io(error)
+                if matches!(
+                    error.kind(),
+                    ErrorKind::InvalidData | ErrorKind::UnexpectedEof
+                ) =>
+            {
+                Error::corrupted(dir, Corruption::Io(error))
+            }
+            redb::Error::Io(source) => Error::disk(dir, source),
+            redb::Error::Corrupted(content) => Error::corrupted(dir, Corruption::Content(content)),
+            closed @ (redb::Error::PreviousIo | redb::Error::DatabaseClosed) => {
+                Error::disk(dir, io::Error::other(closed.to_string()))
+            }
+            other => Error::corrupted(dir, Corruption::Database(Box::new(other))),
+        }
+    }
 }
 
 #[cfg(test)]
--- a/crates/store/src/errors/tests.rs
+++ b/crates/store/src/errors/tests.rs
@@ -2,22 +2,22 @@
 
 #[test]
 fn each_kind_has_a_sample_a_code_and_advice() {
-    let number = |e: &Error| match e {
+    let kind = |error: &Error| match error {
         Error::Locked { .. } => 0,
-        Error::Future { .. } => 1,
+        Error::NewerVersion { .. } => 1,
         Error::Disk { .. } => 2,
-        Error::Torn { .. } => 3,
+        Error::Corrupted { .. } => 3,
     };
     let samples = Error::samples();
     assert_eq!(
-        samples.iter().map(number).collect::<Vec<_>>(),
+        samples.iter().map(kind).collect::<Vec<_>>(),
         [0, 1, 2, 3],
         "a kind has no sample"
     );
-    for e in samples {
+    for error in samples {
         assert!(
-            e.code().is_some() && e.help().is_some_and(|h| h.to_string().len() > 20),
-            "{e}"
+            error.code().is_some() && error.help().is_some_and(|help| help.to_string().len() > 20),
+            "{error}"
         );
     }
 }
--- a/crates/store/src/open.rs
+++ b/crates/store/src/open.rs
@@ -1,284 +1,204 @@
-//! How a folder is taken: whose fault it is when it can't be, and what is begun instead.
+//! How a folder is opened: whose fault it is when that fails, and what is created instead.
 //!
-//! - Another process has it, or a later release wrote it: the operator's fault. Nothing is touched, and the front does not start.
-//! - The file is torn: it is set aside, a new one is begun, and the past counts as unknown, so that servers are asked what they ran.
-//! - The disk fails: the past is unknown, and nothing can be kept; the front starts and sets up nothing that is paid.
-use crate::errors::Error;
-use crate::tables::{self, Kept, VERSION};
+//! - Another process has it open, or a later release wrote it: the operator's fault. Nothing is changed, and the front does not start.
+//! - The database file is corrupted: it is quarantined and a new one is created. The previous state counts as unknown, so that the
+//!   servers are queried for what they ran.
+//! - The disk fails: the previous state is unknown and nothing can be persisted. The front starts and sets up nothing that is paid.
+use crate::database::{self, DatabaseOpener, LoadedDatabase};
+use crate::errors::{Corruption, Error};
+use crate::tables::{self, StoredState, VERSION};
+use crate::version_file::{self, FolderVersion};
 use crankpaddle_recovery::{
     ConservativeBound, PreviousShutdown, RecoveredState, StillValid, StoreWrite,
 };
-use redb::{Builder, Database, DatabaseError, StorageBackend};
+use redb::{Database, StorageBackend};
 use std::fmt;
-use std::fs::{self, File};
-use std::io::{self, ErrorKind, Write as _};
-use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::fs;
 use std::path::{Path, PathBuf};
 
-const FILE: &str = "front.redb";
-const VERSION_FILE: &str = "VERSION";
-/// Memory that the database may use.
-const CACHE: usize = 16 << 20;
+const DATABASE_FILE_NAME: &str = "front.redb";
+/// Stands in messages for the folder of a store that has none.
+const BACKEND_WITHOUT_FOLDER: &str = "(a disk of its own)";
 
-type Opener = Box<dyn Fn(&Builder) -> Result<Database, DatabaseError> + Send>;
-
-/// A store that is open. It is closed when it is dropped.
+/// An open store. Dropping it closes it.
 pub struct Store {
-    db: Option<Database>, // None: after a fault of the disk it has to be opened anew.
+    /// `None` after a fault of the disk, until it is reopened.
+    database: Option<Database>,
     dir: PathBuf,
-    again: Opener,
+    opener: DatabaseOpener,
 }
 
 impl fmt::Debug for Store {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Store")
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("Store")
             .field("dir", &self.dir)
             .finish_non_exhaustive()
     }
 }
 
-/// What came of taking a folder.
+/// The result of opening a folder.
 #[derive(Debug)]
 pub struct OpenedStore {
     /// The store.
     pub store: Store,
-    /// What former lives left.
+    /// What previous incarnations persisted.
     pub recovered: RecoveredState,
-    /// A file that was no store any more, set aside under this name.
+    /// The path to which a corrupted database file was moved, and what was wrong with it.
     pub quarantined: Option<(PathBuf, Error)>,
 }
 
-/// What an error of the database comes from.
-fn told(dir: &Path, e: redb::Error) -> Error {
-    let dir = dir.to_owned();
-    match e {
-        redb::Error::DatabaseAlreadyOpen | redb::Error::LockProtocolMismatch => {
-            Error::Locked { dir }
-        }
-        // Danger: bytes that are no database are told as an I/O error of this kind. A torn file taken for a failing disk would stop
-        // paid service until an operator comes.
-        redb::Error::Io(e)
-            if matches!(e.kind(), ErrorKind::InvalidData | ErrorKind::UnexpectedEof) =>
-        {
-            Error::Torn {
-                dir,
-                what: e.to_string(),
-            }
-        }
-        redb::Error::Io(source) => Error::Disk { dir, source },
-        redb::Error::Corrupted(what) => Error::Torn { dir, what },
-        other @ (redb::Error::PreviousIo | redb::Error::DatabaseClosed) => Error::Disk {
-            dir,
-            source: io::Error::other(other.to_string()),
-        },
-        other => Error::Torn {
-            dir,
-            what: other.to_string(),
-        },
-    }
-}
-
-fn opened(dir: &Path, made: Result<Database, DatabaseError>) -> Result<Database, Error> {
-    made.map_err(|e| told(dir, e.into()))
-}
-
-/// Opens and reads. Danger: the database may panic on bytes that it did not write. Covered: its own check of all it holds, which finds
-/// them at the price of one reading; a panic all the same counts as torn.
-fn load(
-    dir: &Path,
-    open: impl Fn(&Builder) -> Result<Database, DatabaseError>,
-) -> Result<(Database, Kept), Error> {
-    let mut builder = Builder::new();
-    builder
-        .set_cache_size(CACHE)
-        .set_check_integrity_on_open(true);
-    let all = catch_unwind(AssertUnwindSafe(|| {
-        let db = opened(dir, open(&builder))?;
-        let kept = tables::read(&db).map_err(|e| told(dir, e))?;
-        Ok((db, kept))
-    }));
-    all.unwrap_or_else(|_| {
-        Err(Error::Torn {
-            dir: dir.to_owned(),
-            what: "the database gave up on it".into(),
-        })
-    })
-}
-
-fn past(kept: Kept, boot: &str) -> RecoveredState {
-    let ended = match kept.epoch {
-        0 => PreviousShutdown::Unknown,
-        _ if kept.in_order => PreviousShutdown::Clean,
-        _ if kept.boot != boot => PreviousShutdown::PowerLost,
-        _ => PreviousShutdown::Killed,
-    };
-    RecoveredState {
-        epoch: StillValid(kept.epoch + 1),
-        intents: StillValid(kept.intents),
-        fleet_size: ConservativeBound::new(kept.fleet),
-        shutdown: ended,
-        uptime_ms: StillValid(kept.ran),
-    }
-}
-
 impl Store {
-    /// Takes a folder, made if it is not there, and begins a life. `boot` differs with each boot of the host.
+    /// Opens a folder, creates it if it does not exist, and begins an incarnation. `boot_id` differs with each boot of the host.
     ///
     /// # Errors
-    /// It is another's, a later release's, or the disk fails; a torn file is no error.
-    pub fn open(dir: &Path, boot: &str) -> Result<OpenedStore, Error> {
-        let disk = |source: io::Error| Error::Disk {
-            dir: dir.to_owned(),
-            source,
-        };
-        fs::create_dir_all(dir).map_err(disk)?;
-        let file = dir.join(FILE);
-        let mut set_aside = None;
-        match version(dir).map_err(disk)? {
-            Version::Of(found) if found > VERSION => {
-                return Err(Error::Future {
-                    dir: dir.to_owned(),
-                    found,
-                    known: VERSION,
-                })
-            }
-            Version::Of(_) => {}
-            Version::None if !file.exists() => {}
-            Version::None | Version::Torn => {
-                let what = "its VERSION is missing or no number".to_owned();
-                set_aside = aside(
-                    dir,
-                    Error::Torn {
-                        dir: dir.to_owned(),
-                        what,
-                    },
-                )
-                .map_err(disk)?;
-            }
-        }
-        write_version(dir).map_err(disk)?;
-        let path = file;
-        let again: Opener = Box::new(move |builder| builder.create(&path));
-        let open = || load(dir, &again);
-        let (db, kept) = match open() {
-            Err(torn @ Error::Torn { .. }) => {
-                set_aside = aside(dir, torn).map_err(disk)?.or(set_aside);
-                open()?
-            }
-            other => other?,
-        };
-        let store = Store {
-            db: Some(db),
-            dir: dir.to_owned(),
-            again,
-        };
-        let past = store.begin(kept, boot)?;
-        Ok(OpenedStore {
-            store,
-            recovered: past,
-            quarantined: set_aside,
-        })
+    /// Another process has the folder open, a later release wrote it, or the disk fails. A corrupted database file is not an error.
+    pub fn open(dir: &Path, boot_id: &str) -> Result<OpenedStore, Error> {
+        fs::create_dir_all(dir).map_err(|source| Error::disk(dir, source))?;
+        let unversioned = quarantine_unversioned(dir)?;
+        version_file::write(dir).map_err(|source| Error::disk(dir, source))?;
+        let path = dir.join(DATABASE_FILE_NAME);
+        let opener: DatabaseOpener = Box::new(move |builder| builder.create(&path));
+        let (loaded, corrupted) = load_or_replace(dir, &opener)?;
+        begin(dir, opener, loaded, boot_id, corrupted.or(unversioned))
     }
 
-    /// The same on any disk: for tests that watch it, slow it down or let it fail.
+    /// Opens a store on any storage backend: for tests that watch the disk, delay it or let it fail.
     ///
     /// # Errors
-    /// The disk fails, or what is on it is no store.
+    /// The disk fails, or its content is not a valid store.
     pub fn open_backend<B: StorageBackend + Clone>(
         backend: B,
-        boot: &str,
+        boot_id: &str,
     ) -> Result<OpenedStore, Error> {
-        let dir = PathBuf::from("(a disk of its own)");
-        let again: Opener = Box::new(move |builder| builder.create_with_backend(backend.clone()));
-        let (db, kept) = load(&dir, &again)?;
-        let store = Store {
-            db: Some(db),
-            dir,
-            again,
-        };
-        let past = store.begin(kept, boot)?;
-        Ok(OpenedStore {
-            store,
-            recovered: past,
-            quarantined: None,
-        })
+        let dir = Path::new(BACKEND_WITHOUT_FOLDER);
+        let opener: DatabaseOpener =
+            Box::new(move |builder| builder.create_with_backend(backend.clone()));
+        let loaded = database::load(dir, &opener)?;
+        begin(dir, opener, loaded, boot_id, None)
     }
 
-    fn begin(&self, kept: Kept, boot: &str) -> Result<RecoveredState, Error> {
-        if kept.spoilt > 0 {
-            tracing::warn!(dir = %self.dir.display(), entries = kept.spoilt, "entries of the store could not be read");
-        }
-        let past = past(kept, boot);
-        if let Some(db) = &self.db {
-            tables::begin(db, past.epoch.0, boot).map_err(|e| told(&self.dir, e))?;
-        }
-        Ok(past)
-    }
-
-    /// Writes, all or nothing; once it returns, it outlives a power loss. After a fault of the disk the next call opens it anew.
+    /// Writes all or nothing; the writes are durable once it returns. After a fault of the disk the next call reopens the database.
     ///
     /// # Errors
-    /// The disk fails; none of it may be relied on.
+    /// The disk fails; none of the writes may be relied on.
     pub fn write(&mut self, writes: &[StoreWrite]) -> Result<(), Error> {
-        if self.db.is_none() {
-            // What is read is what this life wrote before the fault; it is known.
-            self.db = Some(load(&self.dir, &self.again)?.0);
-        }
-        let Some(db) = &self.db else { return Ok(()) };
-        tables::write(db, writes).map_err(|e| {
-            self.db = None;
-            told(&self.dir, e)
-        })
+        let database = match self.database.take() {
+            Some(database) => database,
+            // Work-around for redb 4.6.0: once an I/O error occurred, every call fails until the database is reopened. What is read
+            // then is dropped: this incarnation wrote it before the fault.
+            None => database::load(&self.dir, &self.opener)?.database,
+        };
+        tables::write(&database, writes).map_err(|error| Error::from_database(&self.dir, error))?;
+        self.database = Some(database);
+        Ok(())
     }
 
     /// The folder.
+    #[must_use]
     pub fn dir(&self) -> &Path {
         &self.dir
     }
 }
 
-enum Version {
-    None,
-    Torn,
-    Of(u32),
-}
-
-fn version(dir: &Path) -> io::Result<Version> {
-    match fs::read(dir.join(VERSION_FILE)) {
-        Ok(bytes) => {
-            let text = String::from_utf8(bytes).unwrap_or_default();
-            Ok(text
-                .strip_suffix('\n')
-                .and_then(|t| t.parse().ok())
-                .map_or(Version::Torn, Version::Of))
+/// Quarantines the database file if the folder's version file is missing or malformed.
+fn quarantine_unversioned(dir: &Path) -> Result<Option<(PathBuf, Error)>, Error> {
+    match version_file::read(dir).map_err(|source| Error::disk(dir, source))? {
+        FolderVersion::Number(found) if found > VERSION => Err(Error::NewerVersion {
+            dir: dir.to_owned(),
+            found,
+            supported: VERSION,
+        }),
+        FolderVersion::Number(_) => Ok(None),
+        FolderVersion::Missing | FolderVersion::Malformed => {
+            quarantine(dir, Error::corrupted(dir, Corruption::VersionFile))
         }
-        Err(e) if e.kind() == ErrorKind::NotFound => Ok(Version::None),
-        Err(e) => Err(e),
     }
 }
 
-fn write_version(dir: &Path) -> io::Result<()> {
-    if matches!(version(dir)?, Version::Of(VERSION)) {
-        return Ok(());
+/// Loads the database; a corrupted one is quarantined, and a new one is created.
+fn load_or_replace(
+    dir: &Path,
+    opener: &DatabaseOpener,
+) -> Result<(LoadedDatabase, Option<(PathBuf, Error)>), Error> {
+    match database::load(dir, opener) {
+        Ok(loaded) => Ok((loaded, None)),
+        Err(corrupted @ Error::Corrupted { .. }) => {
+            let quarantined = quarantine(dir, corrupted)?;
+            Ok((database::load(dir, opener)?, quarantined))
+        }
+        Err(error) => Err(error),
     }
-    let next = dir.join("VERSION.new");
-    let mut file = File::create(&next)?;
-    writeln!(file, "{VERSION}")?;
-    file.sync_all()?;
-    fs::rename(&next, dir.join(VERSION_FILE))?;
-    File::open(dir)?.sync_all() // So that the name outlives a power loss too.
 }
 
-/// Sets a file aside that is no store any more; what it holds may still be of use to people.
-fn aside(dir: &Path, why: Error) -> io::Result<Option<(PathBuf, Error)>> {
-    let file = dir.join(FILE);
+/// Moves the database file aside under a name that is free; people may still need its content. `None`: there is no such file.
+fn quarantine(dir: &Path, reason: Error) -> Result<Option<(PathBuf, Error)>, Error> {
+    let file = dir.join(DATABASE_FILE_NAME);
     if !file.exists() {
         return Ok(None);
     }
-    let free = (1..)
-        .map(|n| dir.join(format!("{FILE}.torn-{n}")))
+    let free_path = (1..)
+        .map(|number| dir.join(format!("{DATABASE_FILE_NAME}.torn-{number}")))
         .find(|path| !path.exists());
-    let Some(free) = free else { return Ok(None) };
-    fs::rename(&file, &free)?;
-    Ok(Some((free, why)))
+    let Some(free_path) = free_path else {
+        return Ok(None);
+    };
+    fs::rename(&file, &free_path).map_err(|source| Error::disk(dir, source))?;
+    Ok(Some((free_path, reason)))
+}
+
+/// Begins an incarnation on a loaded database.
+fn begin(
+    dir: &Path,
+    opener: DatabaseOpener,
+    loaded: LoadedDatabase,
+    boot_id: &str,
+    quarantined: Option<(PathBuf, Error)>,
+) -> Result<OpenedStore, Error> {
+    let LoadedDatabase { database, state } = loaded;
+    if state.undecodable_entries > 0 {
+        tracing::warn!(
+            dir = %dir.display(),
+            entries = state.undecodable_entries,
+            "store entries could not be decoded"
+        );
+    }
+    let recovered = recovered_state(state, boot_id);
+    tables::begin_incarnation(&database, recovered.epoch.0, boot_id)
+        .map_err(|error| Error::from_database(dir, error))?;
+    let store = Store {
+        database: Some(database),
+        dir: dir.to_owned(),
+        opener,
+    };
+    Ok(OpenedStore {
+        store,
+        recovered,
+        quarantined,
+    })
+}
+
+/// What the new incarnation starts from.
+fn recovered_state(state: StoredState, boot_id: &str) -> RecoveredState {
+    let shutdown = previous_shutdown(&state, boot_id);
+    RecoveredState {
+        epoch: StillValid(state.epoch + 1),
+        intents: StillValid(state.intents),
+        fleet_size: ConservativeBound::new(state.fleet_size),
+        shutdown,
+        uptime_ms: StillValid(state.uptime_ms),
+    }
+}
+
+fn previous_shutdown(state: &StoredState, boot_id: &str) -> PreviousShutdown {
+    if state.epoch == 0 {
+        return PreviousShutdown::Unknown;
+    }
+    if state.clean_shutdown {
+        return PreviousShutdown::Clean;
+    }
+    if state.boot_id != boot_id {
+        return PreviousShutdown::PowerLost;
+    }
+    PreviousShutdown::Killed
 }
--- a/crates/store/src/tables.rs
+++ b/crates/store/src/tables.rs
@@ -1,108 +1,152 @@
-//! How entries lie in the database.
+//! The stored form: tables, keys and values in the database.
+//!
+//! Names of tables and keys, and the order of the fields and variants of [`Intent`], are the stored form and don't change within a
+//! [`VERSION`].
 use crankpaddle_recovery::{Intent, Key, StoreWrite};
-use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition, TableError};
+use redb::{
+    Database, ReadTransaction, ReadableDatabase, ReadableTable, Table, TableDefinition, TableError,
+};
 use std::collections::BTreeMap;
 
-/// The version of all that is below.
+/// The version of the stored form.
 pub(crate) const VERSION: u32 = 1;
 
+/// Intents in postcard form by tenant and billing identifier.
 const INTENTS: TableDefinition<(&str, &str), &[u8]> = TableDefinition::new("intents");
 const NUMBERS: TableDefinition<&str, u64> = TableDefinition::new("numbers");
-const WORDS: TableDefinition<&str, &str> = TableDefinition::new("words");
+const TEXTS: TableDefinition<&str, &str> = TableDefinition::new("words");
 
+/// In [`NUMBERS`]: the number of starts.
 const EPOCH: &str = "epoch";
-const IN_ORDER: &str = "ended-in-order";
-const FLEET: &str = "fleet";
-const RAN: &str = "ran";
-const BOOT: &str = "boot";
+/// In [`NUMBERS`]: 1 after a graceful shutdown, else 0.
+const CLEAN_SHUTDOWN: &str = "ended-in-order";
+/// In [`NUMBERS`]: the number of fronts in the fleet.
+const FLEET_SIZE: &str = "fleet";
+/// In [`NUMBERS`]: the accumulated uptime of all incarnations, in milliseconds.
+const UPTIME_MS: &str = "ran";
+/// In [`TEXTS`]: identifies the boot of the host.
+const BOOT_ID: &str = "boot";
 
-/// All that is kept.
+/// All that the database holds.
 #[derive(Debug, Default)]
-pub(crate) struct Kept {
-    pub intents: Vec<(Key, Intent)>,
-    pub epoch: u64,
-    pub in_order: bool,
-    pub fleet: u32,
-    pub ran: u64,
-    pub boot: String,
-    /// Entries that could not be read.
-    pub spoilt: usize,
+pub(crate) struct StoredState {
+    pub(crate) intents: Vec<(Key, Intent)>,
+    /// Zero if no incarnation has begun.
+    pub(crate) epoch: u64,
+    pub(crate) clean_shutdown: bool,
+    pub(crate) fleet_size: u32,
+    pub(crate) uptime_ms: u64,
+    pub(crate) boot_id: String,
+    /// The number of intents that could not be decoded; they are left out.
+    pub(crate) undecodable_entries: usize,
 }
 
-/// Reads all.
-pub(crate) fn read(db: &Database) -> Result<Kept, redb::Error> {
-    let mut kept = Kept::default();
-    let reading = db.begin_read()?;
-    match reading.open_table(INTENTS) {
-        Ok(table) => {
-            for entry in table.iter()? {
-                let (key, bytes) = entry?;
-                let (tenant, bill) = key.value();
-                let key = Key {
-                    tenant: tenant.to_owned(),
-                    bill: bill.to_owned(),
-                };
-                match postcard::from_bytes(bytes.value()) {
-                    Ok(intent) => kept.intents.push((key, intent)),
-                    Err(_) => kept.spoilt += 1,
-                }
-            }
+/// Reads all that the database holds.
+pub(crate) fn read(database: &Database) -> Result<StoredState, redb::Error> {
+    let transaction = database.begin_read()?;
+    let mut state = StoredState::default();
+    match transaction.open_table(INTENTS) {
+        Ok(table) => read_intents(&table, &mut state)?,
+        // The database is new.
+        Err(TableError::TableDoesNotExist(_)) => return Ok(state),
+        Err(error) => return Err(error.into()),
+    }
+    read_numbers(&transaction, &mut state)?;
+    state.boot_id = transaction
+        .open_table(TEXTS)?
+        .get(BOOT_ID)?
+        .map(|text| text.value().to_owned())
+        .unwrap_or_default();
+    Ok(state)
+}
+
+fn read_intents(
+    table: &impl ReadableTable<(&'static str, &'static str), &'static [u8]>,
+    state: &mut StoredState,
+) -> Result<(), redb::Error> {
+    for entry in table.iter()? {
+        let (key, value) = entry?;
+        let (tenant, bill) = key.value();
+        let key = Key {
+            tenant: tenant.to_owned(),
+            bill: bill.to_owned(),
+        };
+        match postcard::from_bytes(value.value()) {
+            Ok(intent) => state.intents.push((key, intent)),
+            Err(_) => state.undecodable_entries += 1,
         }
-        Err(TableError::TableDoesNotExist(_)) => return Ok(kept), // It is new.
-        Err(e) => return Err(e.into()),
     }
-    let table = reading.open_table(NUMBERS)?;
+    Ok(())
+}
+
+fn read_numbers(transaction: &ReadTransaction, state: &mut StoredState) -> Result<(), redb::Error> {
+    let table = transaction.open_table(NUMBERS)?;
     let mut numbers = BTreeMap::new();
     for entry in table.iter()? {
         let (name, number) = entry?;
         numbers.insert(name.value().to_owned(), number.value());
     }
     let number = |name| numbers.get(name).copied().unwrap_or(0);
-    kept.epoch = number(EPOCH);
-    kept.in_order = number(IN_ORDER) == 1;
-    kept.fleet = number(FLEET) as u32;
-    kept.ran = number(RAN);
-    kept.boot = reading
-        .open_table(WORDS)?
-        .get(BOOT)?
-        .map(|w| w.value().to_owned())
-        .unwrap_or_default();
-    Ok(kept)
+    state.epoch = number(EPOCH);
+    state.clean_shutdown = number(CLEAN_SHUTDOWN) == 1;
+    state.fleet_size = number(FLEET_SIZE) as u32;
+    state.uptime_ms = number(UPTIME_MS);
+    Ok(())
 }
 
-/// Begins a life; what it returns outlives a power loss.
-pub(crate) fn begin(db: &Database, epoch: u64, boot: &str) -> Result<(), redb::Error> {
-    let writing = db.begin_write()?;
+/// Begins an incarnation, and creates the tables of a new database; durable once it returns.
+pub(crate) fn begin_incarnation(
+    database: &Database,
+    epoch: u64,
+    boot_id: &str,
+) -> Result<(), redb::Error> {
+    let transaction = database.begin_write()?;
     {
-        writing.open_table(INTENTS)?;
-        let mut numbers = writing.open_table(NUMBERS)?;
+        transaction.open_table(INTENTS)?;
+        let mut numbers = transaction.open_table(NUMBERS)?;
         numbers.insert(EPOCH, epoch)?;
-        numbers.insert(IN_ORDER, 0)?;
-        writing.open_table(WORDS)?.insert(BOOT, boot)?;
+        numbers.insert(CLEAN_SHUTDOWN, 0)?;
+        transaction.open_table(TEXTS)?.insert(BOOT_ID, boot_id)?;
     }
-    Ok(writing.commit()?)
+    Ok(transaction.commit()?)
 }
 
-/// Writes in one go, all or nothing; once it returns it outlives a power loss.
-pub(crate) fn write(db: &Database, writes: &[StoreWrite]) -> Result<(), redb::Error> {
-    let writing = db.begin_write()?;
+/// Writes all or nothing; durable once it returns.
+pub(crate) fn write(database: &Database, writes: &[StoreWrite]) -> Result<(), redb::Error> {
+    let transaction = database.begin_write()?;
     {
-        let mut intents = writing.open_table(INTENTS)?;
-        let mut numbers = writing.open_table(NUMBERS)?;
+        let mut intents = transaction.open_table(INTENTS)?;
+        let mut numbers = transaction.open_table(NUMBERS)?;
         for write in writes {
-            match write {
-                StoreWrite::Put(key, intent) => {
-                    let bytes = postcard::to_allocvec(intent).unwrap_or_default(); // It has no form that fails.
-                    intents.insert((key.tenant.as_str(), key.bill.as_str()), bytes.as_slice())?;
-                }
-                StoreWrite::Remove(key) => {
-                    drop(intents.remove((key.tenant.as_str(), key.bill.as_str()))?);
-                }
-                StoreWrite::FleetSize(fronts) => drop(numbers.insert(FLEET, u64::from(*fronts))?),
-                StoreWrite::Uptime(ran) => drop(numbers.insert(RAN, ran)?),
-                StoreWrite::CleanShutdown => drop(numbers.insert(IN_ORDER, 1)?),
-            }
+            apply(write, &mut intents, &mut numbers)?;
+        }
+    }
+    Ok(transaction.commit()?)
+}
+
+fn apply(
+    write: &StoreWrite,
+    intents: &mut Table<(&'static str, &'static str), &'static [u8]>,
+    numbers: &mut Table<&'static str, u64>,
+) -> Result<(), redb::Error> {
+    match write {
+        StoreWrite::Put(key, intent) => {
+            // Encoding can't fail: the type has no form that postcard rejects, and the buffer grows.
+            let value = postcard::to_allocvec(intent).unwrap_or_default();
+            intents.insert((key.tenant.as_str(), key.bill.as_str()), value.as_slice())?;
+        }
+        StoreWrite::Remove(key) => {
+            intents.remove((key.tenant.as_str(), key.bill.as_str()))?;
+        }
+        StoreWrite::FleetSize(fronts) => {
+            numbers.insert(FLEET_SIZE, u64::from(*fronts))?;
+        }
+        StoreWrite::Uptime(uptime_ms) => {
+            numbers.insert(UPTIME_MS, uptime_ms)?;
+        }
+        StoreWrite::CleanShutdown => {
+            numbers.insert(CLEAN_SHUTDOWN, 1)?;
         }
     }
-    Ok(writing.commit()?)
+    Ok(())
 }
--- a/crates/store/src/writer.rs
+++ b/crates/store/src/writer.rs
@@ -1,7 +1,7 @@
-//! A store on a thread of its own.
+//! The thread that writes a store.
 //!
-//! Danger: a coroutine that waits for a disk stops all others of its thread. So orders go through a queue, and who waits for one is
-//! told when it is on disk. What came while the disk was busy goes together.
+//! Why a thread: a coroutine that waits for a disk blocks all others of its thread. So requests go through a queue, and a requester
+//! that waits is notified when its writes are durable. Requests that arrive while the disk is busy are committed together.
 use crate::errors::Error;
 use crate::open::Store;
 use crankpaddle_recovery::StoreWrite;
@@ -9,102 +9,139 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-/// Writes that nobody waits for go to disk together, after this time.
-pub const GATHER: Duration = Duration::from_millis(100);
-/// Orders of one commit at most.
-const MOST: usize = 1024;
-/// After a fault of the disk those that wait are told at once, and it is tried again after this time.
-const AFTER_FAULT: Duration = Duration::from_millis(500);
+/// How long writes for which no requester waits are collected before they are committed together.
+const GROUP_COMMIT_DELAY: Duration = Duration::from_millis(100);
+/// The maximum number of requests in one commit, which bounds its duration.
+const MAX_GROUP_REQUESTS: usize = 1024;
+/// How long after a failure the disk is not tried again; requests fail at once meanwhile.
+const RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// What is to be written.
+/// A request to write.
 #[derive(Debug)]
 pub struct WriteRequest {
-    /// In this order, all or nothing.
+    /// The writes, applied in this order, all or nothing.
     pub writes: Vec<StoreWrite>,
-    /// Who waits until it is on disk.
+    /// Identifies the requester that waits until the writes are durable; `None`: nobody waits.
     pub token: Option<u64>,
 }
 
-/// The way to the thread that writes.
+/// The handle of the thread that writes a store.
 #[derive(Debug)]
 pub struct StoreWriter {
-    orders: Sender<WriteRequest>,
+    requests: Sender<WriteRequest>,
     thread: JoinHandle<()>,
 }
 
 impl StoreWriter {
-    /// Starts it. `done` is told who waits no more, and whether what they waited for is on disk.
+    /// Starts the thread. It calls `on_written` for each token, with whether the writes are durable.
     pub fn start(
         store: Store,
-        done: impl Fn(u64, Result<(), &Error>) + Send + 'static,
+        on_written: impl Fn(u64, Result<(), &Error>) + Send + 'static,
     ) -> StoreWriter {
-        let (orders, inbox) = mpsc::channel();
-        let thread = std::thread::spawn(move || run(store, &inbox, done));
-        StoreWriter { orders, thread }
+        let (requests, received_requests) = mpsc::channel();
+        let thread = std::thread::spawn(move || run(store, &received_requests, on_written));
+        StoreWriter { requests, thread }
     }
 
-    /// Writes. False: the thread has died, and nobody will be told.
-    pub fn submit(&self, order: WriteRequest) -> bool {
-        order.writes.is_empty() && order.token.is_none() || self.orders.send(order).is_ok()
+    /// Queues a request. Returns false if the thread has ended; then nobody is notified.
+    pub fn submit(&self, request: WriteRequest) -> bool {
+        if request.writes.is_empty() && request.token.is_none() {
+            return true;
+        }
+        self.requests.send(request).is_ok()
     }
 
-    /// Ends; gives the thread that still writes, to be waited for where waiting is allowed.
+    /// Closes the queue. Returns the thread, which still writes what is queued; join it where blocking is allowed.
+    #[must_use]
     pub fn finish(self) -> JoinHandle<()> {
         self.thread
     }
 }
 
-/// Takes what lies there, and waits for company while nobody waits for it.
-fn gather(first: WriteRequest, inbox: &Receiver<WriteRequest>) -> Vec<WriteRequest> {
-    let mut orders = vec![first];
-    let until = Instant::now() + GATHER;
-    while orders.len() < MOST {
-        let next = match orders.iter().any(|o| o.token.is_some()) {
-            true => inbox.try_recv().map_err(|_| RecvTimeoutError::Timeout),
-            false => inbox.recv_timeout(until.saturating_duration_since(Instant::now())),
-        };
-        match next {
-            Ok(order) => orders.push(order),
-            Err(_) => break,
-        }
+/// A failed commit.
+struct WriteFailure {
+    at: Instant,
+    error: Error,
+}
+
+fn run(
+    mut store: Store,
+    requests: &Receiver<WriteRequest>,
+    on_written: impl Fn(u64, Result<(), &Error>),
+) {
+    let mut failure: Option<WriteFailure> = None;
+    while let Ok(first) = requests.recv() {
+        let group = collect_group(first, requests);
+        failure = commit_or_fail_fast(&mut store, &group, failure);
+        notify_requesters(&group, failure.as_ref(), &on_written);
     }
-    orders
 }
 
-fn run(mut store: Store, inbox: &Receiver<WriteRequest>, done: impl Fn(u64, Result<(), &Error>)) {
-    let mut fault: Option<(Instant, Error)> = None;
-    while let Ok(first) = inbox.recv() {
-        let orders = gather(first, inbox);
-        let result = match fault.take() {
-            Some((at, e)) if at.elapsed() < AFTER_FAULT => Err((at, e)),
-            before => {
-                let writes: Vec<StoreWrite> = orders
-                    .iter()
-                    .flat_map(|o| o.writes.iter().cloned())
-                    .collect();
-                let result = store.write(&writes);
-                match (&result, before.is_some()) {
-                    (Ok(()), true) => {
-                        tracing::info!(dir = %store.dir().display(), "the store is written again");
-                    }
-                    (Err(e), false) => {
-                        let help = miette::Diagnostic::help(e)
-                            .map(|h| h.to_string())
-                            .unwrap_or_default();
-                        tracing::error!(%e, help, "the store can't be written");
-                    }
-                    _ => {}
-                }
-                result.map_err(|e| (Instant::now(), e))
-            }
+/// Collects the requests of one commit: those that are queued, and while nobody waits also those that arrive within
+/// [`GROUP_COMMIT_DELAY`].
+fn collect_group(first: WriteRequest, requests: &Receiver<WriteRequest>) -> Vec<WriteRequest> {
+    let deadline = Instant::now() + GROUP_COMMIT_DELAY;
+    let mut group = vec![first];
+    while group.len() < MAX_GROUP_REQUESTS {
+        let somebody_waits = group.iter().any(|request| request.token.is_some());
+        let next = if somebody_waits {
+            requests.try_recv().map_err(|_| RecvTimeoutError::Timeout)
+        } else {
+            requests.recv_timeout(deadline.saturating_duration_since(Instant::now()))
         };
-        for token in orders.iter().filter_map(|o| o.token) {
-            let told = match &result {
-                Ok(()) => Ok(()),
-                Err((_, e)) => Err(e),
-            };
-            done(token, told);
+        let Ok(request) = next else { break };
+        group.push(request);
+    }
+    group
+}
+
+/// Commits a group, or fails it at once while the last failure is recent. Returns the failure, if it failed.
+fn commit_or_fail_fast(
+    store: &mut Store,
+    group: &[WriteRequest],
+    previous_failure: Option<WriteFailure>,
+) -> Option<WriteFailure> {
+    match previous_failure {
+        Some(failure) if failure.at.elapsed() < RETRY_DELAY => Some(failure),
+        Some(_) => commit(store, group, true),
+        None => commit(store, group, false),
+    }
+}
+
+fn commit(store: &mut Store, group: &[WriteRequest], was_failing: bool) -> Option<WriteFailure> {
+    let writes: Vec<StoreWrite> = group
+        .iter()
+        .flat_map(|request| request.writes.iter().cloned())
+        .collect();
+    let Err(error) = store.write(&writes) else {
+        if was_failing {
+            tracing::info!(dir = %store.dir().display(), "store writes succeed again");
         }
-        fault = result.err();
+        return None;
+    };
+    if !was_failing {
+        log_write_failure(store, &error);
+    }
+    Some(WriteFailure {
+        at: Instant::now(),
+        error,
+    })
+}
+
+fn log_write_failure(store: &Store, error: &Error) {
+    let help = miette::Diagnostic::help(error)
+        .map(|help| help.to_string())
+        .unwrap_or_default();
+    tracing::error!(dir = %store.dir().display(), %error, help, "store write failed");
+}
+
+fn notify_requesters(
+    group: &[WriteRequest],
+    failure: Option<&WriteFailure>,
+    on_written: &impl Fn(u64, Result<(), &Error>),
+) {
+    for token in group.iter().filter_map(|request| request.token) {
+        let result = failure.map_or(Ok(()), |failure| Err(&failure.error));
+        on_written(token, result);
     }
 }
--- a/crates/store/tests/folder.rs
+++ b/crates/store/tests/folder.rs
@@ -101,9 +101,9 @@
     let before = files(dir.path());
     assert!(matches!(
         Store::open(dir.path(), "a"),
-        Err(Error::Future {
+        Err(Error::NewerVersion {
             found: 2,
-            known: 1,
+            supported: 1,
             ..
         })
     ));
@@ -138,7 +138,7 @@
         fs::write(&file, &bytes).unwrap();
         let taken = Store::open(dir.path(), "a").unwrap();
         if let Some((path, why)) = taken.quarantined {
-            assert!(matches!(why, Error::Torn { .. }), "{why}");
+            assert!(matches!(why, Error::Corrupted { .. }), "{why}");
             assert_eq!(
                 fs::read(&path).unwrap(),
                 bytes,
