--- a/crates/store/examples/cost.rs
+++ b/crates/store/examples/cost.rs
@@ -1,24 +1,31 @@
-//! What a store costs: a commit alone, many at once, and reading what is there, beside the least that any store could take: the same
-//! bytes appended to a file and synced. `cargo run --release -p crankpaddle-store --example cost [FOLDER]`
+//! What a store costs: a single commit, commits of many writes, and reading what is persisted, beside the least that any store could
+//! take: the same bytes appended to a file and synced. `cargo run --release -p crankpaddle-store --example cost [FOLDER]`
 use crankpaddle_recovery::{Intent, IntentOutcome, Key, StoreWrite};
 use crankpaddle_store::Store;
+use std::error::Error;
 use std::fs::{self, File};
 use std::io::Write as _;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-const ALONE: usize = 400;
+const ROUNDS: u64 = 400;
+/// Writes in one commit.
+const GROUP_SIZES: [u64; 3] = [1, 16, 256];
+const ENTRY_COUNTS: [u64; 3] = [1_000, 10_000, 100_000];
+/// Entries are written in commits of this size before they are read.
+const ENTRIES_PER_COMMIT: usize = 1000;
+/// The size of one entry in the plain file, about that of an encoded one.
+const PLAIN_ENTRY_BYTES: usize = 120;
 
-fn keep(n: u64) -> StoreWrite {
+fn put_intent(n: u64) -> StoreWrite {
     let key = Key {
         tenant: format!("t{}", n % 5),
         bill: format!("{n:032x}"),
     };
-    let name = format!("{:016x}-{n:x}", n.wrapping_mul(0x9e37_79b9_7f4a_7c15));
     let intent = Intent {
         class: "licensed-view".into(),
         server: n as u32 % 150,
-        attempt_name: name,
+        attempt_name: format!("{:016x}-{n:x}", n.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
         server_incarnation: "17".into(),
         outcome: IntentOutcome::InFlight,
         retained_until: u64::MAX,
@@ -26,85 +33,101 @@
     StoreWrite::Put(key, intent)
 }
 
-fn told(what: &str, mut times: Vec<Duration>, each: usize) {
+fn print_quantiles(label: &str, mut times: Vec<Duration>, writes_per_commit: u64) {
     times.sort_unstable();
-    let at = |part: f64| times[((times.len() - 1) as f64 * part) as usize].as_secs_f64() * 1e3;
+    let quantile_ms =
+        |part: f64| times[((times.len() - 1) as f64 * part) as usize].as_secs_f64() * 1e3;
     println!(
-        "{what:44} p50 {:7.2} ms  p99 {:7.2} ms  a write {:7.1} us",
-        at(0.5),
-        at(0.99),
-        at(0.5) * 1e3 / each as f64
+        "{label:44} p50 {:7.2} ms  p99 {:7.2} ms  a write {:7.1} us",
+        quantile_ms(0.5),
+        quantile_ms(0.99),
+        quantile_ms(0.5) * 1e3 / writes_per_commit as f64
     );
 }
 
-fn size(dir: &Path) -> u64 {
-    fs::read_dir(dir).map_or(0, |all| {
-        all.flatten()
-            .filter_map(|f| f.metadata().ok())
-            .map(|m| m.len())
+fn folder_bytes(dir: &Path) -> u64 {
+    fs::read_dir(dir).map_or(0, |entries| {
+        entries
+            .flatten()
+            .filter_map(|entry| entry.metadata().ok())
+            .map(|metadata| metadata.len())
             .sum()
     })
 }
 
-fn main() -> Result<(), Box<dyn std::error::Error>> {
+fn measure_commits(dir: &Path, group_size: u64) -> Result<(), Box<dyn Error>> {
+    let mut store = Store::open(&dir.join(format!("group-{group_size}")), "boot")?.store;
+    let mut plain_file = File::create(dir.join("plain"))?;
+    let plain_bytes = vec![7u8; PLAIN_ENTRY_BYTES * group_size as usize];
+    let mut store_times = Vec::new();
+    let mut plain_times = Vec::new();
+    for round in 0..ROUNDS {
+        let writes: Vec<StoreWrite> = (0..group_size)
+            .map(|n| put_intent(round * group_size + n))
+            .collect();
+        let started_at = Instant::now();
+        store.write(&writes)?;
+        store_times.push(started_at.elapsed());
+        let started_at = Instant::now();
+        plain_file.write_all(&plain_bytes)?;
+        plain_file.sync_data()?;
+        plain_times.push(started_at.elapsed());
+    }
+    print_quantiles(
+        &format!("{group_size} at once, in the store"),
+        store_times,
+        group_size,
+    );
+    print_quantiles(
+        &format!("{group_size} at once, appended to a file"),
+        plain_times,
+        group_size,
+    );
+    Ok(())
+}
+
+fn measure_reading(dir: &Path, entry_count: u64) -> Result<(), Box<dyn Error>> {
+    let folder = dir.join(format!("entries-{entry_count}"));
+    let mut store = Store::open(&folder, "boot")?.store;
+    let numbers: Vec<u64> = (0..entry_count).collect();
+    for chunk in numbers.chunks(ENTRIES_PER_COMMIT) {
+        let writes: Vec<StoreWrite> = chunk.iter().map(|n| put_intent(*n)).collect();
+        store.write(&writes)?;
+    }
+    // As a power loss leaves it: a copy of the files while the store is open.
+    let copy = dir.join(format!("copy-{entry_count}"));
+    fs::create_dir_all(&copy)?;
+    for file in fs::read_dir(&folder)? {
+        let file = file?;
+        fs::copy(file.path(), copy.join(file.file_name()))?;
+    }
+    let started_at = Instant::now();
+    let opened = Store::open(&copy, "other boot")?;
+    let duration = started_at.elapsed().as_secs_f64();
+    println!(
+        "{entry_count:7} entries: read after a power loss in {:8.1} ms ({:.2} us an entry), {:.1} MB, {:?}",
+        duration * 1e3,
+        duration * 1e6 / entry_count as f64,
+        folder_bytes(&folder) as f64 / 1e6,
+        opened.recovered.shutdown
+    );
+    assert_eq!(opened.recovered.intents.0.len(), entry_count as usize);
+    Ok(())
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
     let dir = std::env::args()
         .nth(1)
         .map_or_else(std::env::temp_dir, Into::into)
         .join("crankpaddle-cost");
-    let _ = fs::remove_dir_all(&dir); // Of a run that was broken off.
+    // What an aborted run left; usually there is none.
+    let _ = fs::remove_dir_all(&dir);
     fs::create_dir_all(&dir)?;
-    for group in [1, 16, 256] {
-        let folder = dir.join(format!("group-{group}"));
-        let mut store = Store::open(&folder, "boot")?.store;
-        let (mut times, mut floor) = (Vec::new(), Vec::new());
-        let mut plain = File::create(dir.join("plain"))?;
-        for round in 0..ALONE as u64 {
-            let writes: Vec<StoreWrite> = (0..group).map(|n| keep(round * group + n)).collect();
-            let begun = Instant::now();
-            store.write(&writes)?;
-            times.push(begun.elapsed());
-            let bytes = vec![7u8; 120 * group as usize];
-            let begun = Instant::now();
-            plain.write_all(&bytes)?;
-            plain.sync_data()?;
-            floor.push(begun.elapsed());
-        }
-        told(
-            &format!("{group} at once, in the store"),
-            times,
-            group as usize,
-        );
-        told(
-            &format!("{group} at once, appended to a file"),
-            floor,
-            group as usize,
-        );
+    for group_size in GROUP_SIZES {
+        measure_commits(&dir, group_size)?;
     }
-    for entries in [1_000u64, 10_000, 100_000] {
-        let folder = dir.join(format!("entries-{entries}"));
-        let mut store = Store::open(&folder, "boot")?.store;
-        let all: Vec<u64> = (0..entries).collect();
-        for some in all.chunks(1000) {
-            store.write(&some.iter().map(|n| keep(*n)).collect::<Vec<_>>())?;
-        }
-        // As a power loss leaves it: a copy, without the closing of the file.
-        let copy = dir.join(format!("copy-{entries}"));
-        fs::create_dir_all(&copy)?;
-        for file in fs::read_dir(&folder)? {
-            let file = file?;
-            fs::copy(file.path(), copy.join(file.file_name()))?;
-        }
-        let begun = Instant::now();
-        let taken = Store::open(&copy, "other boot")?;
-        let took = begun.elapsed();
-        println!(
-            "{entries:7} entries: read after a power loss in {:8.1} ms ({:.2} us an entry), {:.1} MB, {:?}",
-            took.as_secs_f64() * 1e3,
-            took.as_secs_f64() * 1e6 / entries as f64,
-            size(&folder) as f64 / 1e6,
-            taken.recovered.shutdown
-        );
-        assert_eq!(taken.recovered.intents.0.len(), entries as usize);
+    for entry_count in ENTRY_COUNTS {
+        measure_reading(&dir, entry_count)?;
     }
     fs::remove_dir_all(&dir)?;
     Ok(())
