--- a/crates/store/src/open.rs
+++ b/crates/store/src/open.rs
@@ -1,4 +1,4 @@
-//! How a folder is opened: whose fault it is when that fails, and what is created instead.
+//! How a folder is opened: which fault makes that fail, and what is created instead.
 //!
 //! - Another process has it open, or a later release wrote it: the operator's fault. Nothing is changed, and the front does not start.
 //! - The database file is corrupted: it is quarantined and a new one is created. The previous state counts as unknown, so that the
--- a/crates/store/src/writer.rs
+++ b/crates/store/src/writer.rs
@@ -21,7 +21,7 @@
 pub struct WriteRequest {
     /// The writes, applied in this order, all or nothing.
     pub writes: Vec<StoreWrite>,
-    /// Identifies the requester that waits until the writes are durable; `None`: nobody waits.
+    /// Identifies the requester that waits until the writes are durable; `None`: no requester waits.
     pub token: Option<u64>,
 }
 
@@ -43,7 +43,7 @@
         StoreWriter { requests, thread }
     }
 
-    /// Queues a request. Returns false if the thread has ended; then nobody is notified.
+    /// Queues a request. Returns false if the thread has ended; then no requester is notified.
     pub fn submit(&self, request: WriteRequest) -> bool {
         if request.writes.is_empty() && request.token.is_none() {
             return true;
@@ -77,14 +77,14 @@
     }
 }
 
-/// Collects the requests of one commit: those that are queued, and while nobody waits also those that arrive within
+/// Collects the requests of one commit: those that are queued, and while no requester waits also those that arrive within
 /// [`GROUP_COMMIT_DELAY`].
 fn collect_group(first: WriteRequest, requests: &Receiver<WriteRequest>) -> Vec<WriteRequest> {
     let deadline = Instant::now() + GROUP_COMMIT_DELAY;
     let mut group = vec![first];
     while group.len() < MAX_GROUP_REQUESTS {
-        let somebody_waits = group.iter().any(|request| request.token.is_some());
-        let next = if somebody_waits {
+        let requester_waits = group.iter().any(|request| request.token.is_some());
+        let next = if requester_waits {
             requests.try_recv().map_err(|_| RecvTimeoutError::Timeout)
         } else {
             requests.recv_timeout(deadline.saturating_duration_since(Instant::now()))
