--- a/crates/front/src/core/mod.rs
+++ b/crates/front/src/core/mod.rs
@@ -72,7 +72,7 @@
     previous_fronts: ConservativeBound<u32>,
     staged_recovery: StagedRecovery,
     /// How many steps of the staged recovery were reported.
-    reported_steps: usize,
+    reported_transitions: usize,
     /// Whether all paid set-ups that may have left were persisted.
     intents_complete: bool,
     /// Paid keys of previous incarnations that may have run.
@@ -114,7 +114,7 @@
             known_fronts: 0,
             previous_fronts: ConservativeBound::default(),
             staged_recovery: StagedRecovery::not_needed(now.0),
-            reported_steps: 0,
+            reported_transitions: 0,
             intents_complete: true,
             unresolved_keys: BTreeSet::new(),
             recovery_queue: RecoveryQueue::default(),
--- a/crates/front/src/core/startup_recovery.rs
+++ b/crates/front/src/core/startup_recovery.rs
@@ -29,7 +29,7 @@
         intents_complete: bool,
         previous_fronts: ConservativeBound<u32>,
     ) {
-        self.reported_steps = staged_recovery.steps().len();
+        self.reported_transitions = staged_recovery.transitions().len();
         self.intents_complete = intents_complete;
         self.previous_fronts = previous_fronts;
         self.staged_recovery = staged_recovery;
@@ -94,11 +94,12 @@
     pub(super) fn advance_recovery(&mut self, out: &mut Vec<Output>) {
         self.staged_recovery.expire(self.now.0);
         self.set_stage_timer();
-        let steps = self.staged_recovery.steps();
-        for (_, stage, evidence) in &steps[self.reported_steps..] {
-            out.push(Output::StageReached(*stage, *evidence));
+        let transitions = self.staged_recovery.transitions();
+        for transition in &transitions[self.reported_transitions..] {
+            let reached = Output::StageReached(transition.stage, transition.evidence);
+            out.push(reached);
         }
-        self.reported_steps = steps.len();
+        self.reported_transitions = transitions.len();
         self.update_replica_count();
     }
 
