Daemon: files moved to names that say what they own

Cause: the names effects, players, links, directory, secret, pool, attempts, peers and rig said little of what the files hold. Change: moves only (git mv), with module paths; contents follow. Measured: cargo check with tests passes.

--- a/crates/daemon/src/event_loop/durable_setup.rs
+++ b/crates/daemon/src/event_loop/durable_setup.rs
@@ -1,6 +1,6 @@
 //! Paid set-ups on disk before they leave, and what becomes of those that a former life began.
 use super::{EventLoop, MILLISECOND};
-use crate::attempts::{self, Out};
+use crate::attempt_sender::{self, Out};
 use crankpaddle_api::describe::Fleet;
 use crankpaddle_front::{
     AttemptId, AttemptOutcome, Endpoint, EndpointListKind, Input, RecoveryStage, ServerId,
@@ -98,7 +98,7 @@
             .map(|c| c.idempotency);
         let paid = effect == Some(crankpaddle::Idempotency::AtMostOnce);
         let Some(kept) = self.paid.as_mut().filter(|_| paid) else {
-            return attempts::send(self.shared.clone(), attempt, to, bytes, out);
+            return attempt_sender::send(self.shared.clone(), attempt, to, bytes, out);
         };
         let config = &self.shared.config;
         let of = |names: &[String], n: usize| names.get(n).cloned().unwrap_or_default();
@@ -152,7 +152,7 @@
         }; // It was given up meanwhile.
         if written {
             self.tell_core(Input::SendDeferred(attempt, false));
-            attempts::send(
+            attempt_sender::send(
                 self.shared.clone(),
                 attempt,
                 pending.address,
--- a/crates/daemon/src/event_loop/mod.rs
+++ b/crates/daemon/src/event_loop/mod.rs
@@ -1,18 +1,18 @@
 //! The one place where things are decided: it owns the core, hears everything in one order, and has effects carried
 //! out. It never waits for a socket.
 mod durable_setup;
-mod effects;
 mod maintenance;
+mod outputs;
 mod previous_incarnation;
 mod servers;
 mod status;
 
-use crate::attempts::Out;
-use crate::links::Link;
+use crate::attempt_sender::Out;
 use crate::persistence_thread::Keeper;
 use crate::player::Player;
 use crate::recovered_state::Kept;
 use crate::server_connection_state::Contact;
+use crate::server_link::Link;
 use crate::shared::{Msg, Shared};
 use crate::traffic::Traffic;
 use crankpaddle_cross_zone_traffic::report::TrafficReport;
--- a/crates/daemon/src/event_loop/effects.rs
+++ b/crates/daemon/src/event_loop/outputs.rs
@@ -1,6 +1,6 @@
 //! What is to be done, carried out.
 use super::{EventLoop, Live};
-use crate::attempts::Out;
+use crate::attempt_sender::Out;
 use crate::shared::Msg;
 use crankpaddle_front::{
     Answer, AttemptId, Call, Input, Notification, Output, PlayerId, RequestId, ServerId,
--- a/crates/daemon/src/event_loop/servers.rs
+++ b/crates/daemon/src/event_loop/servers.rs
@@ -1,6 +1,6 @@
 //! What servers and the list service say.
 use super::{EventLoop, Live};
-use crate::links::Link;
+use crate::server_link::Link;
 use crankpaddle_front::keys;
 use crankpaddle_front::{
     AttemptId, Endpoint, EndpointListKind, Input, Lifecycle, ServerId, SetUpResult, Time,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,21 +15,21 @@
 #![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
-mod attempts;
-mod directory;
+mod attempt_sender;
+mod connection_pool;
 mod errors;
 mod event_loop;
 mod inventory_client;
-mod links;
+mod key_file;
+mod list_service_client;
+mod membership_runner;
 mod names;
-mod peers;
 mod persistence_thread;
 mod player;
-mod players;
-mod pool;
+mod player_listener;
 mod recovered_state;
-mod secret;
 mod server_connection_state;
+mod server_link;
 mod shared;
 mod traffic;
 
@@ -88,11 +88,16 @@
             source,
         };
         let of_former_lives = |source| StartError::Kept { source };
-        let cached = directory::cached(&config).map_err(of_former_lives)?;
+        let cached = list_service_client::cached(&config).map_err(of_former_lives)?;
         let account = traffic::kept(&config).map_err(of_former_lives)?;
         let listener = listen(wanted).map_err(not_listening)?;
         let address = listener.local_addr().map_err(not_listening)?;
-        let (peers, link) = config.peers.as_ref().map(peers::open).transpose()?.unzip();
+        let (peers, link) = config
+            .peers
+            .as_ref()
+            .map(membership_runner::open)
+            .transpose()?
+            .unzip();
         let (shared, inbox) =
             Shared::new(config, link, kept.as_ref().map(|kept| kept.name.clone()));
         if let Some(peers) = peers {
@@ -106,11 +111,11 @@
             let writers = hub.run(&inbox);
             let _ = finished.send(writers); // Nobody may wait.
         });
-        directory::follow(shared.clone(), stopped.clone());
-        players::watch_idle(shared.clone(), stopped.clone());
+        list_service_client::follow(shared.clone(), stopped.clone());
+        player_listener::watch_idle(shared.clone(), stopped.clone());
         let of_players = shared.clone();
         accept_each(listener, stopped.clone(), move |socket| {
-            players::serve(socket, &of_players);
+            player_listener::serve(socket, &of_players);
         });
         tracing::info!(%address, "listening");
         Ok(Daemon {
@@ -153,7 +158,10 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .recv();
-        self.shared.peers.iter().for_each(peers::Link::leave);
+        self.shared
+            .peers
+            .iter()
+            .for_each(membership_runner::Link::leave);
         // What was to be kept is on disk before the process ends; a writer that panicked has said so.
         writers
             .into_iter()
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/membership_runner.rs
@@ -3,7 +3,7 @@
 //! The hub knows nothing of it: no set-up waits behind a peer's datagram. Where a datagram can't be sent at once it is dropped;
 //! the state machine bears loss.
 use crate::errors::StartError;
-use crate::secret;
+use crate::key_file;
 use crankpaddle_api::describe::{Members, OwnStanding, Peer, PeerState, PeerTurn};
 use crankpaddle_config::Peers as Wanted;
 use crankpaddle_membership::{
@@ -69,7 +69,7 @@
 /// # Errors
 /// The key can't be read, or the address can't be listened on.
 pub(crate) fn open(wanted: &Wanted) -> Result<(Opened, Link), StartError> {
-    let key = secret::key(&wanted.key_file)?;
+    let key = key_file::key(&wanted.key_file)?;
     let named = |source| StartError::Listen {
         address: wanted.listen,
         source,
--- a/crates/daemon/src/recovered_state.rs
+++ b/crates/daemon/src/recovered_state.rs
@@ -1,6 +1,6 @@
 //! What this front starts from: its name at servers, and what its store holds.
 use crate::errors::StartError;
-use crate::secret;
+use crate::key_file;
 use crankpaddle_config::Store as Wanted;
 use crankpaddle_recovery::{ConservativeBound, PreviousShutdown, RecoveredState, StillValid};
 use crankpaddle_server_protocol::sessions;
@@ -40,7 +40,7 @@
     wanted: &Wanted,
     store: impl FnOnce(&str) -> Result<OpenedStore, Error>,
 ) -> Result<Kept, StartError> {
-    let key = secret::key(&wanted.key_file)?;
+    let key = key_file::key(&wanted.key_file)?;
     let name = sessions::front_name(&key, &wanted.name);
     let boot = std::fs::read_to_string(&wanted.boot_file).unwrap_or_else(|e| {
         tracing::warn!(path = %wanted.boot_file.display(), %e, "the boot can't be told; each start counts as after a power loss");
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -1,7 +1,7 @@
 //! What the coroutines of a front share.
+use crate::connection_pool::Pool;
 use crate::names::Names;
 use crate::player::Player;
-use crate::pool::Pool;
 use crankpaddle_api::describe::Fleet;
 use crankpaddle_config::{Config, Limits};
 use crankpaddle_front::{
@@ -65,7 +65,7 @@
 pub(crate) struct Shared {
     pub config: Config,
     /// The other fronts, where there are any.
-    pub peers: Option<crate::peers::Link>,
+    pub peers: Option<crate::membership_runner::Link>,
     pub names: Names,
     pub pool: Pool,
     /// Looks often: attempts and streams.
@@ -87,7 +87,7 @@
 impl Shared {
     pub(crate) fn new(
         config: Config,
-        peers: Option<crate::peers::Link>,
+        peers: Option<crate::membership_runner::Link>,
         name: Option<String>,
     ) -> (Arc<Shared>, mpsc::Receiver<Msg>) {
         let (inbox, receiver) = mpsc::channel();
--- a/crates/daemon/tests/described.rs
+++ b/crates/daemon/tests/described.rs
@@ -1,17 +1,17 @@
 //! Everything that is described is exchanged over sockets, by both versions, and held against the published files: what no
 //! description allows fails, and so does what is described and was not exchanged.
 #![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
-mod rig;
+mod support;
 use crankpaddle_api::conform::{Checker, Exception, Exchange};
 use crankpaddle_membership::{Membership, MembershipConfig, Output};
 use crankpaddle_session_api::Version;
 use crankpaddle_testbed::list_service::{entry, EndpointState};
-use rig::{wait, Rig, Stage, FREE, LONG, PAID};
 use serde_json::{json, Value};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
+use support::{wait, Rig, Stage, FREE, LONG, PAID};
 use tungstenite::client::IntoClientRequest;
 use tungstenite::{Message, WebSocket};
 
--- a/crates/daemon/tests/edges.rs
+++ b/crates/daemon/tests/edges.rs
@@ -1,12 +1,12 @@
 //! What comes to the listener that is no well-behaved player: malformed frames, JSON and HTTP, oversize, half-open
 //! sockets, players that never read, and more than the front may take.
 #![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
-mod rig;
+mod support;
 use crankpaddle_session_api::client::{self, ClientEvent};
 use crankpaddle_testbed::record::Seen;
-use rig::{front, wait, Rig, FREE, LONG, PAID};
 use std::io::{Read, Write};
 use std::time::{Duration, Instant};
+use support::{front, wait, Rig, FREE, LONG, PAID};
 use tungstenite::protocol::frame::coding::CloseCode;
 use tungstenite::Message;
 
@@ -400,8 +400,8 @@
 
 #[test]
 fn without_the_list_service_a_front_starts_from_the_list_on_disk() {
-    let text = rig::text(&[]);
-    let (config, fleet, recorder) = rig::fleet(&text);
+    let text = support::text(&[]);
+    let (config, fleet, recorder) = support::fleet(&text);
     let dir = std::env::temp_dir().join(format!("crankpaddle-cache-{}", std::process::id()));
     std::fs::create_dir_all(&dir).unwrap();
     let cache = dir.join("list.json");
@@ -410,7 +410,7 @@
         let config = crankpaddle_config::parse(&front(&text, list, &cache_name)).unwrap();
         crankpaddle_daemon::Daemon::start(config).unwrap()
     };
-    let list = rig::list(&config, &fleet, &recorder);
+    let list = support::list(&config, &fleet, &recorder);
     let first = start(&list.address);
     wait("the list on disk", || {
         std::fs::read_to_string(&cache).is_ok_and(|t| t.matches("address").count() == 12)
@@ -422,12 +422,12 @@
         .local_addr()
         .unwrap();
     let second = start(&gone);
-    let (_, said) = rig::Player::connect(second.address()).open_and_wait("from-the-disk", FREE);
+    let (_, said) = support::Player::connect(second.address()).open_and_wait("from-the-disk", FREE);
     assert!(matches!(said, ClientEvent::Plays { .. }), "{said:?}");
     // A copy that is broken keeps no front from starting.
     std::fs::write(&cache, "{").unwrap();
     let third = start(&gone);
-    let (_, said) = rig::Player::connect(third.address()).open_and_wait("without-list", FREE);
+    let (_, said) = support::Player::connect(third.address()).open_and_wait("without-list", FREE);
     assert!(matches!(said, ClientEvent::Refused { .. }), "{said:?}");
     std::fs::remove_dir_all(&dir).unwrap();
 }
--- a/crates/daemon/tests/http_texts.rs
+++ b/crates/daemon/tests/http_texts.rs
@@ -1,11 +1,11 @@
 //! The exact JSON texts that a front gives over HTTP: names and order of fields, types and fixed values.
-mod rig;
+mod support;
 mod texts;
 use crankpaddle_daemon::Daemon;
-use rig::{wait, Rig, FREE, LONG, PAID};
 use serde_json::{json, Value};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use support::{wait, Rig, FREE, LONG, PAID};
 use texts::{masked, parsed, Texts, V1};
 
 fn body(address: SocketAddr, path: &str) -> String {
@@ -137,8 +137,8 @@
             r##"{{"name":"a","address":{own},"standing":"alone","members":[],"sent":#,"heard":#,"dropped":#,{counted},"turns":[]}}"##
         )
     );
-    let other = rig::text(&[("log {", &peers("b", &format!("seed: {own}"), &key))]);
-    let other = rig::front(&other, &rig.list.address, "");
+    let other = support::text(&[("log {", &peers("b", &format!("seed: {own}"), &key))]);
+    let other = support::front(&other, &rig.list.address, "");
     let other = Daemon::start(crankpaddle_config::parse(&other).unwrap()).unwrap();
     for (front, name, peer) in [(address, "a", "b"), (other.address(), "b", "a")] {
         let members = body_until(front, "/members", |m| {
--- a/crates/daemon/tests/paid.rs
+++ b/crates/daemon/tests/paid.rs
@@ -1,14 +1,14 @@
 //! Paid set-ups and a disk that is slow, full, or no disk: what leaves, what is said, and what free classes see of it.
-mod rig;
+mod support;
 use crankpaddle_session_api::client::ClientEvent;
 use crankpaddle_store::Store;
 use crankpaddle_testbed::disk::Poor;
 use crankpaddle_testbed::record::Seen;
-use rig::{wait, Rig, Stage, FREE, PAID};
 use std::io::{Read, Write};
 use std::path::Path;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
+use support::{wait, Rig, Stage, FREE, PAID};
 use tempfile::TempDir;
 
 fn config(dir: &Path, folder: &Path) -> String {
--- a/crates/daemon/tests/player_texts.rs
+++ b/crates/daemon/tests/player_texts.rs
@@ -1,8 +1,8 @@
 //! The exact JSON texts that players get: answers, errors and notices.
-mod rig;
+mod support;
 mod texts;
-use rig::{wait, Rig, FREE, PAID};
 use serde_json::json;
+use support::{wait, Rig, FREE, PAID};
 use texts::{masked, parsed, Texts, V1};
 
 const V2: &str = "session.v2.jsonrpc";
--- a/crates/daemon/tests/set_ups.rs
+++ b/crates/daemon/tests/set_ups.rs
@@ -1,9 +1,9 @@
 //! Servers that misbehave during a set-up, and players that are lost in the midst of one.
-mod rig;
+mod support;
 use crankpaddle_session_api::client::ClientEvent;
 use crankpaddle_testbed::record::{Reply, Seen};
-use rig::{wait, Player, Rig, FREE, PAID};
 use std::time::{Duration, Instant};
+use support::{wait, Player, Rig, FREE, PAID};
 
 fn reason(said: &ClientEvent) -> &str {
     match said {
--- a/crates/daemon/tests/texts/mod.rs
+++ b/crates/daemon/tests/texts/mod.rs
@@ -1,5 +1,5 @@
 //! A player that sees texts as they are, and texts with their numbers masked.
-use crate::rig::LONG;
+use crate::support::LONG;
 use serde_json::{json, Value};
 use std::net::{SocketAddr, TcpStream};
 use tungstenite::client::IntoClientRequest;
--- a/crates/daemon/tests/traffic.rs
+++ b/crates/daemon/tests/traffic.rs
@@ -1,16 +1,16 @@
 //! Traffic between halls over sockets: budgets that hold previews at home, accounts that agree with the servers, and
 //! survive.
-mod rig;
+mod support;
 use crankpaddle_cross_zone_traffic::report::TrafficReport;
 use crankpaddle_daemon::Daemon;
 use crankpaddle_session_api::client::ClientEvent;
 use crankpaddle_testbed::crossing::crossed;
 use crankpaddle_testbed::list_service::{entry, EndpointState};
-use rig::{wait, Rig, FREE, LONG, PAID};
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
+use support::{wait, Rig, FREE, LONG, PAID};
 
 /// A budget of which one session is more than all.
 const TIGHT: (&str, &str) = (
@@ -153,13 +153,13 @@
     let named = format!("front {{\n  traffic_file: {:?}", kept.to_str().unwrap());
     let rig = Rig::new(&[]);
     let start = || {
-        let text =
-            rig::front(&rig::text(&[]), &rig.list.address, "").replacen("front {", &named, 1);
+        let text = support::front(&support::text(&[]), &rig.list.address, "")
+            .replacen("front {", &named, 1);
         Daemon::start(crankpaddle_config::parse(&text).unwrap())
     };
     let total = |r: &TrafficReport| r.flows.iter().map(|f| f.bytes).sum::<u64>();
     let first = start().unwrap();
-    let mut player = rig::Player::connect(first.address());
+    let mut player = support::Player::connect(first.address());
     let mut tries = 0;
     let media = loop {
         tries += 1;
