--- a/crates/cli/src/front.rs
+++ b/crates/cli/src/front.rs
@@ -11,7 +11,7 @@
 /// Takes the budgets of the file over, or says why they stay as they are.
 fn reload(daemon: &Daemon, path: &Path) {
     let taken = crankpaddle_config::load(path).map_err(|e| e.to_string());
-    match taken.and_then(|config| daemon.change_budgets(config)) {
+    match taken.and_then(|config| daemon.change_budgets(config).map_err(|e| e.to_string())) {
         Ok(()) => {
             tracing::info!(path = %path.display(), "reloaded: budgets; all else waits for a restart");
         }
--- a/crates/daemon/src/attempt_sender.rs
+++ b/crates/daemon/src/attempt_sender.rs
@@ -1,105 +1,112 @@
-//! Set-ups at servers, each a coroutine with a connection of its own while it lasts.
-use crate::shared::{Msg, Shared};
-use crankpaddle_front::{AttemptId, AttemptOutcome, Input, SetUpResult};
+//! Sends set-ups to servers, each in a coroutine of its own, over a connection of its own while it lasts.
+use crate::message::Message;
+use crate::shared::Shared;
+use crankpaddle_front::{AttemptId, AttemptOutcome, SetUpResult};
 use crankpaddle_net::exchange::{ExchangeError, HttpExchange};
 use crankpaddle_net::{spawn, Socket, Stack};
 use crankpaddle_server_protocol::sessions;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
-/// Bytes of an answer's body at most.
-const MOST_ANSWER: u64 = 64 * 1024;
+/// Bytes of a response's body at most.
+const MOST_RESPONSE: u64 = 64 * 1024;
 
-/// An attempt that is out, so that it can be abandoned.
+/// A set-up that is ready to be sent.
+pub(crate) struct SetUpRequest {
+    pub address: SocketAddr,
+    /// The whole HTTP request.
+    pub bytes: Vec<u8>,
+    pub handle: Arc<AttemptHandle>,
+}
+
+/// An attempt in flight, so that it can be abandoned.
 #[derive(Default)]
-pub(crate) struct Out(Mutex<State>);
+pub(crate) struct AttemptHandle(Mutex<AttemptState>);
 
 #[derive(Default)]
-enum State {
+enum AttemptState {
     #[default]
     Connecting,
-    On(Arc<Socket>),
-    Over,
+    InFlight(Arc<Socket>),
+    Completed,
 }
 
-impl Out {
-    /// Nothing more is waited for; what was not written yet never will be.
+impl AttemptHandle {
+    /// Ends the attempt: what was not written yet never will be, and the answer is not waited for.
     pub(crate) fn abandon(&self) {
-        let before = std::mem::replace(
-            &mut *self.0.lock().unwrap_or_else(PoisonError::into_inner),
-            State::Over,
-        );
-        if let State::On(socket) = before {
+        if let AttemptState::InFlight(socket) = self.complete() {
             socket.close();
         }
     }
 
-    /// Takes the connection that the attempt goes out on; false if it was abandoned before.
-    fn goes_on(&self, socket: &Arc<Socket>) -> bool {
+    /// Takes the connection that the attempt is sent over; false if it was abandoned before.
+    fn send_over(&self, socket: &Arc<Socket>) -> bool {
         let mut state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let connecting = matches!(*state, State::Connecting);
-        if connecting {
-            *state = State::On(socket.clone());
+        let is_connecting = matches!(*state, AttemptState::Connecting);
+        if is_connecting {
+            *state = AttemptState::InFlight(socket.clone());
         }
-        connecting
+        is_connecting
     }
 
-    /// The answer is there; false if it was abandoned before.
+    /// The answer was received; false if the attempt was abandoned before.
     fn answered(&self) -> bool {
-        let before = std::mem::replace(
-            &mut *self.0.lock().unwrap_or_else(PoisonError::into_inner),
-            State::Over,
-        );
-        matches!(before, State::On(_))
+        matches!(self.complete(), AttemptState::InFlight(_))
+    }
+
+    /// Ends the attempt; returns its state before.
+    fn complete(&self) -> AttemptState {
+        let mut state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::replace(&mut state, AttemptState::Completed)
     }
 }
 
-/// Sends an attempt and tells the hub how it came out.
-pub(crate) fn send(
-    shared: Arc<Shared>,
-    attempt: AttemptId,
-    address: SocketAddr,
-    bytes: Vec<u8>,
-    out: Arc<Out>,
-) {
+/// Sends an attempt; its result reaches the event loop as a message.
+pub(crate) fn send(shared: Arc<Shared>, attempt: AttemptId, request: SetUpRequest) {
     spawn(Stack::Usual, move || {
-        let came_out = carry(&shared, address, &bytes, &out);
-        shared.tell(Msg::Server(Input::SetUpCompleted(attempt, came_out)));
+        let result = perform(&shared, &request);
+        shared.send(Message::SetUpCompleted { attempt, result });
     });
 }
 
-fn carry(shared: &Shared, address: SocketAddr, bytes: &[u8], out: &Out) -> SetUpResult {
+fn perform(shared: &Shared, request: &SetUpRequest) -> SetUpResult {
     let ended = |outcome| SetUpResult::Ended(outcome, Vec::new());
-    let socket = match shared.pool.take(&address) {
-        Some(socket) => socket,
-        None => match Socket::connect(&address, shared.connect_within()) {
-            Ok(socket) => {
-                let socket = Arc::new(socket);
-                shared.quick.watch(&socket);
-                socket
-            }
-            Err(_) => return ended(AttemptOutcome::ConnectFailed),
-        },
+    let Ok(socket) = connection(shared, &request.address) else {
+        return ended(AttemptOutcome::ConnectFailed);
     };
-    if !out.goes_on(&socket) {
+    if !request.handle.send_over(&socket) {
         return ended(AttemptOutcome::NotSent);
     }
-    // "Never ran" is claimed only where nothing of the request was written; one byte of it may have been enough.
-    if let Err((written, _)) = socket.write_all(bytes) {
+    // "Never ran" is claimed only where nothing of the request was written: one byte of it may have been
+    // enough.
+    if let Err((written, _)) = socket.write_all(&request.bytes) {
         return ended(if written == 0 {
             AttemptOutcome::ConnectFailed
         } else {
             AttemptOutcome::Reset
         });
     }
-    let mut wire = HttpExchange::new(socket.clone());
-    let (response, body) = match wire.response(MOST_ANSWER) {
+    let mut exchange = HttpExchange::new(socket.clone());
+    let (response, body) = match exchange.response(MOST_RESPONSE) {
         Ok(answer) => answer,
         Err(ExchangeError::Closed | ExchangeError::Broken) => return ended(AttemptOutcome::Reset),
         Err(ExchangeError::Bad(_)) => return ended(AttemptOutcome::ServerError),
     };
-    if out.answered() && response.keeps_alive() && wire.is_clean() {
-        shared.pool.put(address, socket, shared.limits().pool_idle);
+    if request.handle.answered() && response.keeps_alive() && exchange.is_clean() {
+        let idle_timeout = shared.limits().pool_idle;
+        shared.pool.put(request.address, socket, idle_timeout);
     }
     sessions::set_up_answer(&response, &body)
 }
+
+/// An idle connection to the server, or a new one.
+fn connection(shared: &Shared, address: &SocketAddr) -> io::Result<Arc<Socket>> {
+    if let Some(socket) = shared.pool.take(address) {
+        return Ok(socket);
+    }
+    let socket = Socket::connect(address, shared.connect_timeout())?;
+    let socket = Arc::new(socket);
+    shared.server_sweeper.watch(&socket);
+    Ok(socket)
+}
--- a/crates/daemon/src/connection_pool.rs
+++ b/crates/daemon/src/connection_pool.rs
@@ -2,20 +2,22 @@
 use crankpaddle_net::{clock, Socket};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-/// Idle connections to servers.
+type IdleConnections = HashMap<SocketAddr, Vec<Arc<Socket>>>;
+
+/// Idle connections by server. The lock is held for a look at the lists only, never over a wait.
 #[derive(Default)]
-pub(crate) struct Pool(Mutex<HashMap<SocketAddr, Vec<Arc<Socket>>>>);
+pub(crate) struct ConnectionPool(Mutex<IdleConnections>);
 
-impl Pool {
-    /// A connection that is there and idle. The latest used first, so that the others grow old and close.
+impl ConnectionPool {
+    /// An idle connection, if there is one. The one used last is taken first, so that the others expire.
     pub(crate) fn take(&self, address: &SocketAddr) -> Option<Arc<Socket>> {
-        let mut idle = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let of_server = idle.get_mut(address)?;
-        while let Some(socket) = of_server.pop() {
-            // Danger: a server closes idle connections too. What is written into a closed one may have run for all we
-            // know, and a paid set-up would be lost; so it must be seen idle right before.
+        let mut idle = self.lock();
+        let sockets = idle.get_mut(address)?;
+        while let Some(socket) = sockets.pop() {
+            // Why it is checked right before use: a server closes idle connections too, and what is written
+            // into a closed one may have run as far as is known here, so that a paid set-up would be lost.
             if socket.is_idle() {
                 socket.set_expiry(u64::MAX);
                 return Some(socket);
@@ -25,20 +27,24 @@
         None
     }
 
-    pub(crate) fn put(&self, address: SocketAddr, socket: Arc<Socket>, for_time: u64) {
-        socket.set_expiry(clock::now().saturating_add(for_time));
-        let mut idle = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let of_server = idle.entry(address).or_default();
-        of_server.retain(|s| !s.is_closed());
-        of_server.push(socket);
+    /// Keeps a connection for `idle_timeout`, nanoseconds.
+    pub(crate) fn put(&self, address: SocketAddr, socket: Arc<Socket>, idle_timeout: u64) {
+        socket.set_expiry(clock::now().saturating_add(idle_timeout));
+        let mut idle = self.lock();
+        let sockets = idle.entry(address).or_default();
+        sockets.retain(|socket| !socket.is_closed());
+        sockets.push(socket);
     }
 
-    /// Forgets connections that were closed.
+    /// Removes connections that were closed.
     pub(crate) fn prune(&self) {
-        let mut idle = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|_, of_server| {
-            of_server.retain(|s| !s.is_closed());
-            !of_server.is_empty()
+        self.lock().retain(|_, sockets| {
+            sockets.retain(|socket| !socket.is_closed());
+            !sockets.is_empty()
         });
     }
+
+    fn lock(&self) -> MutexGuard<'_, IdleConnections> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/crates/daemon/src/errors.rs
+++ b/crates/daemon/src/errors.rs
@@ -1,14 +1,17 @@
-//! Why a front does not start, and what an operator can do.
+//! Why a front does not start or does not take over a configuration, and what an operator can do.
 use miette::Diagnostic;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use thiserror::Error;
 
+#[cfg(test)]
+mod tests;
+
 /// Why a front does not start.
 #[derive(Debug, Error, Diagnostic)]
 pub enum StartError {
-    /// An address can't be had.
+    /// An address can't be listened on.
     #[error("{address}: {source}")]
     #[diagnostic(
         code(front::listen),
@@ -17,21 +20,23 @@
     Listen {
         /// The address.
         address: SocketAddr,
-        /// What the system said.
+        /// The operating system's error.
         source: io::Error,
     },
-    /// A file that was kept is none of this front's, or can't be read.
-    #[error("{source}")]
+    /// A file that a previous incarnation saved can't be read, or is not this front's.
+    #[error("{}: {source}", path.display())]
     #[diagnostic(
-        code(front::kept),
+        code(front::kept), // The code is in published pages, so it stays.
         help("give the front the file that it wrote, or move this one away to begin anew; see front.list_cache and front.traffic_file")
     )]
-    Kept {
-        /// What is wrong, with its path.
-        source: io::Error,
+    SavedFile {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong with it.
+        source: SavedFileError,
     },
     /// A key can't be used.
-    #[error("{}: {what}", path.display())]
+    #[error("{}: {source}", path.display())]
     #[diagnostic(
         code(front::key),
         help("the file must hold 32 hex digits, the same on all fronts of the fleet; head -c 16 /dev/urandom | xxd -p makes one")
@@ -40,7 +45,7 @@
         /// The file.
         path: PathBuf,
         /// What is wrong with it.
-        what: String,
+        source: KeyFileError,
     },
     /// The store can't be used.
     #[error(transparent)]
@@ -48,57 +53,62 @@
     Store(#[from] crankpaddle_store::Error),
 }
 
+/// What is wrong with a file that a previous incarnation saved.
+#[derive(Debug, Error)]
+pub enum SavedFileError {
+    /// It can't be read.
+    #[error(transparent)]
+    Read(#[from] io::Error),
+    /// It holds no traffic account.
+    #[error("no account of traffic: {0}")]
+    NotATrafficAccount(#[from] serde_json::Error),
+    /// It is the traffic account of another front.
+    #[error("is the account of front {front}, not of this one")]
+    OtherFront {
+        /// The number of the front that wrote it.
+        front: u32,
+    },
+}
+
+/// What is wrong with a key's file.
+#[derive(Debug, Error)]
+pub enum KeyFileError {
+    /// It can't be read.
+    #[error(transparent)]
+    Read(#[from] io::Error),
+    /// It holds something else than a key.
+    #[error("is no key: 32 hex digits are wanted")]
+    Malformed,
+}
+
+/// Why the budgets of another configuration are not taken over while the front runs; those in force stay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("{changed}: changed, which needs a restart; the budgets in force stay")]
+pub struct BudgetChangeError {
+    /// The settings that differ and that the budgets build on.
+    pub changed: &'static str,
+}
+
 impl StartError {
-    /// One of each kind, for the page on errors.
+    /// One of each kind, for `docs/errors.md`.
+    #[must_use]
     pub fn samples() -> Vec<StartError> {
-        let source = || io::Error::from(io::ErrorKind::AddrInUse);
-        let own = vec![
+        let mut samples = vec![
             StartError::Listen {
                 address: ([127, 0, 0, 1], 7400).into(),
-                source: source(),
+                source: io::ErrorKind::AddrInUse.into(),
             },
-            StartError::Kept {
-                source: io::Error::other("FILE: what is wrong with it"),
+            StartError::SavedFile {
+                path: "FILE".into(),
+                source: io::Error::other("what is wrong with it").into(),
             },
             StartError::Key {
                 path: "FILE".into(),
-                what: "is no key: 32 hex digits are wanted".into(),
+                source: KeyFileError::Malformed,
             },
         ];
-        own.into_iter()
-            .chain(
-                crankpaddle_store::Error::samples()
-                    .into_iter()
-                    .map(StartError::Store),
-            )
-            .collect()
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn each_kind_has_a_sample_a_code_and_advice() {
-        let kind = |e: &StartError| match e {
-            StartError::Listen { .. } => 0,
-            StartError::Kept { .. } => 1,
-            StartError::Key { .. } => 2,
-            StartError::Store(_) => 3,
-        };
-        let samples = StartError::samples();
-        let kinds: std::collections::BTreeSet<i32> = samples.iter().map(kind).collect();
-        assert_eq!(
-            kinds.into_iter().collect::<Vec<_>>(),
-            [0, 1, 2, 3],
-            "a kind has no sample"
-        );
-        for e in samples {
-            assert!(
-                e.code().is_some() && e.help().is_some_and(|h| h.to_string().len() > 20),
-                "{e}"
-            );
-        }
+        let store_samples = crankpaddle_store::Error::samples();
+        samples.extend(store_samples.into_iter().map(StartError::Store));
+        samples
     }
 }
--- /dev/null
+++ b/crates/daemon/src/event_loop/durable_state.rs
@@ -0,0 +1,89 @@
+//! What the event loop owns where a store is configured: the ledger of paid set-ups, and the state of
+//! recovery.
+use super::MILLISECOND;
+use crate::attempt_sender::SetUpRequest;
+use crankpaddle_api::describe::Fleet;
+use crankpaddle_front::{AttemptId, Endpoint, EndpointListKind, ServerId};
+use crankpaddle_net::clock;
+use crankpaddle_recovery::reconciliation::InventorySession;
+use crankpaddle_recovery::{IntentLedger, Reconciliation, StoreWrite};
+use crankpaddle_store::{StoreWriter, WriteRequest};
+use std::collections::{BTreeMap, HashMap};
+use std::thread::JoinHandle;
+
+/// A list that came before reconciliation was complete.
+pub(super) struct DeferredList {
+    pub(super) kind: EndpointListKind,
+    pub(super) endpoints: Vec<Endpoint>,
+}
+
+/// A session of a previous incarnation that a server still holds.
+pub(super) struct FoundSession {
+    pub(super) server: ServerId,
+    pub(super) session: InventorySession,
+}
+
+/// State of paid set-ups, in memory and in the store.
+pub(super) struct DurableState {
+    pub(super) ledger: IntentLedger,
+    /// `None`: the disk failed at the start, so nothing paid is set up.
+    pub(super) writer: Option<StoreWriter>,
+    pub(super) reconciliation: Reconciliation,
+    /// Clock time of the start of this incarnation, nanoseconds.
+    pub(super) started_at: u64,
+    /// Uptime of all previous incarnations together, milliseconds.
+    pub(super) previous_uptime_ms: u64,
+    /// Set-ups that are sent when their intent is on disk.
+    pub(super) pending_sends: HashMap<AttemptId, SetUpRequest>,
+    pub(super) deferred_lists: Vec<DeferredList>,
+    /// Found before service resumed.
+    pub(super) found_sessions: Vec<FoundSession>,
+    /// Passed to the core, which has not decided yet; by token.
+    pub(super) sessions_in_adoption: HashMap<u64, FoundSession>,
+    pub(super) last_token: u64,
+    /// When servers started, by the age that their inventories state.
+    pub(super) server_starts: BTreeMap<ServerId, u64>,
+    /// Service has not resumed yet: lists and found sessions are deferred.
+    pub(super) is_reconciling: bool,
+    pub(super) maintenance_rounds: u64,
+    pub(super) stored_fleet_size: u32,
+    /// The part of the status that does not change in this incarnation.
+    pub(super) base_status: Fleet,
+    /// The last write of an intent failed.
+    pub(super) is_write_failing: bool,
+}
+
+impl DurableState {
+    /// Queues writes that nobody waits for.
+    pub(super) fn write(&self, writes: impl IntoIterator<Item = StoreWrite>) {
+        let writes: Vec<StoreWrite> = writes.into_iter().collect();
+        if writes.is_empty() {
+            return;
+        }
+        if let Some(writer) = &self.writer {
+            writer.submit(WriteRequest {
+                writes,
+                token: None,
+            });
+        }
+    }
+
+    /// Uptime of all incarnations together, milliseconds.
+    pub(super) fn uptime_ms(&self) -> u64 {
+        self.previous_uptime_ms + clock::now().saturating_sub(self.started_at) / MILLISECOND
+    }
+
+    /// Writes the uptime, and where the shutdown is clean, that it was; returns the thread that writes.
+    pub(super) fn finish(self, is_clean: bool) -> Option<JoinHandle<()>> {
+        let mut writes = vec![StoreWrite::Uptime(self.uptime_ms())];
+        if is_clean {
+            writes.push(StoreWrite::CleanShutdown);
+        }
+        let writer = self.writer?;
+        writer.submit(WriteRequest {
+            writes,
+            token: None,
+        });
+        Some(writer.finish())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/event_loop/endpoints.rs
@@ -0,0 +1,81 @@
+//! The endpoint list: from the list service to the core, the links and the copy on disk.
+use super::EventLoop;
+use crate::server_link::ServerLink;
+use crankpaddle_front::{Endpoint, EndpointListKind, Input, Lifecycle};
+use crankpaddle_server_protocol::list::{self, EndpointEntry, EndpointListBody};
+
+impl EventLoop {
+    pub(super) fn endpoint_list_received(
+        &mut self,
+        kind: EndpointListKind,
+        list: &EndpointListBody,
+    ) {
+        self.is_list_unavailable = false;
+        if !self.endpoints.take(kind, list) {
+            return;
+        }
+        self.list_writer.write(self.endpoints.text());
+        tracing::info!(
+            ?kind,
+            serial = list.serial,
+            entries = list.servers.len(),
+            "endpoint list received"
+        );
+        let endpoints = self.resolve_endpoints(&list.servers);
+        self.apply_endpoints(kind, endpoints);
+    }
+
+    pub(super) fn endpoint_list_unavailable(&mut self) {
+        self.is_list_unavailable = true;
+        self.apply_endpoints(EndpointListKind::Failed, Vec::new());
+    }
+
+    /// The entries in the core's terms; those of an unknown zone or kind are left out.
+    pub(super) fn resolve_endpoints(&self, entries: &[EndpointEntry]) -> Vec<Endpoint> {
+        let config = &self.shared.config;
+        let mut endpoints = Vec::with_capacity(entries.len());
+        for entry in entries {
+            match list::listing(entry, &config.zones, &config.kinds) {
+                Some(endpoint) => endpoints.push(endpoint),
+                None => tracing::warn!(
+                    server_id = entry.id,
+                    zone = entry.zone,
+                    kind = entry.kind,
+                    "endpoint of unknown zone or kind ignored"
+                ),
+            }
+        }
+        endpoints
+    }
+
+    pub(super) fn apply_endpoints(&mut self, kind: EndpointListKind, endpoints: Vec<Endpoint>) {
+        for endpoint in &endpoints {
+            self.apply_endpoint(endpoint);
+        }
+        if matches!(kind, EndpointListKind::Full | EndpointListKind::Cached) {
+            let listed = endpoints.iter().map(|endpoint| endpoint.server.0).collect();
+            self.traffic.controller.retain_endpoints(&listed);
+        }
+        if !self.defer_endpoints(kind, &endpoints) {
+            self.handle_core_input(Input::EndpointList(kind, endpoints));
+        }
+    }
+
+    /// Gives a listed server a link, or a new one where its address changed.
+    fn apply_endpoint(&mut self, endpoint: &Endpoint) {
+        let is_present = endpoint.lifecycle != Lifecycle::Removed;
+        let mut entries = self.endpoints.servers().iter();
+        let entry = entries.find(|entry| entry.id == endpoint.server.0);
+        let address = entry.map(|entry| entry.address);
+        let state = self.servers.entry(endpoint.server).or_default();
+        self.traffic
+            .controller
+            .endpoint_listed(endpoint.server.0, endpoint.zone, is_present);
+        let linked_address = state.link.as_ref().map(|link| link.address);
+        if let Some(address) = address.filter(|_| is_present) {
+            if linked_address != Some(address) {
+                state.link = Some(ServerLink::start(&self.shared, endpoint.server, address));
+            }
+        }
+    }
+}
--- a/crates/daemon/src/event_loop/maintenance.rs
+++ b/crates/daemon/src/event_loop/maintenance.rs
@@ -1,73 +1,65 @@
-//! Upkeep, and the end.
-use super::{EventLoop, LAST_WORDS};
+//! Periodic upkeep: links, the connection pool, budgets, the traffic account and the store.
+use super::EventLoop;
 use crankpaddle_front::{AttemptId, Input};
 use crankpaddle_net::clock;
-use std::sync::atomic::Ordering;
 
 impl EventLoop {
-    pub(super) fn keep_house(&mut self) {
+    pub(super) fn run_maintenance(&mut self) {
         let now = clock::now();
-        let rest = self.shared.limits().pool_idle;
-        self.servers
-            .values()
-            .filter_map(|s| s.link.as_ref())
-            .for_each(|link| link.rest(now, rest));
-        self.shared.pool.prune();
-        self.look_at_traffic(now);
-        self.look_at_paid();
-    }
-
-    pub(super) fn look_at_traffic(&mut self, now: u64) {
-        let orders = self.traffic.desk.tick(now);
-        for (lowered, sessions) in [(true, &orders.lower), (false, &orders.restore)] {
-            for session in sessions {
-                tracing::info!(attempt = session, lowered, "for the budget between halls");
-                self.tell_core(Input::RateCapped(AttemptId(*session), lowered));
-            }
-        }
-        self.tell_crossing();
-        let wanted = self.traffic.desk.zones_observed(now);
-        for (id, state) in &self.servers {
+        let idle_timeout = self.shared.limits().pool_idle;
+        for state in self.servers.values() {
             if let Some(link) = &state.link {
-                link.want(
-                    &self.shared,
-                    self.list_lost || self.traffic.desk.is_in_zones(id.0, &wanted),
-                );
+                link.close_if_idle(now, idle_timeout);
             }
         }
-        self.traffic.begin_round();
-        self.keep_account();
+        self.shared.pool.prune();
+        self.enforce_budgets(now);
+        self.maintain_durable_state();
+    }
+
+    /// Applies the budgets of cross-zone traffic: rate caps of sessions, policies of classes, and which
+    /// servers must report.
+    fn enforce_budgets(&mut self, now: u64) {
+        let changes = self.traffic.controller.tick(now);
+        self.cap_rates(&changes.lower, true);
+        self.cap_rates(&changes.restore, false);
+        self.apply_cross_zone_policy();
+        self.update_report_subscriptions(now);
+        self.traffic.start_settlement();
+        self.save_traffic_account();
     }
 
-    /// Tells the core how classes may leave for other zones, where that changed.
-    pub(super) fn tell_crossing(&mut self) {
-        for (zone, class, leave) in self.traffic.desk.policy_changes(clock::now()) {
-            tracing::info!(zone, class, ?leave, "budget between halls");
-            self.tell_core(Input::CrossZonePolicyChanged { zone, class, leave });
+    fn cap_rates(&mut self, sessions: &[u64], is_capped: bool) {
+        for session in sessions {
+            tracing::info!(attempt_id = session, is_capped, "rate cap changed");
+            self.handle_core_input(Input::RateCapped(AttemptId(*session), is_capped));
         }
     }
 
-    pub(super) fn keep_account(&mut self) {
-        if self.account.keeps() {
-            let text = self.traffic.report();
-            self.account.keep(text);
+    /// Subscribes to servers whose reports are needed though no session is there: for budgets, or because the
+    /// list service does not report their starts.
+    fn update_report_subscriptions(&mut self, now: u64) {
+        let zones = self.traffic.controller.zones_observed(now);
+        for (server, state) in &self.servers {
+            let Some(link) = &state.link else { continue };
+            let is_wanted =
+                self.is_list_unavailable || self.traffic.controller.is_in_zones(server.0, &zones);
+            link.want_reports(&self.shared, is_wanted);
         }
     }
 
-    pub(super) fn drain(&mut self) {
-        let now = clock::now();
-        let Some(by) = self.drain_by else { return };
-        if self.end_by.is_none() && (self.core.waiting() == 0 || now >= by) {
-            tracing::info!(playing = self.core.playing(), "stopping");
-            self.end_by = Some(now + LAST_WORDS);
-            self.drain_by = Some(u64::MAX);
-            self.tell_core(Input::Stop);
-            self.players.values().for_each(|p| p.close());
+    /// Passes changes of how classes may be served from other zones to the core.
+    pub(super) fn apply_cross_zone_policy(&mut self) {
+        for (zone, class, leave) in self.traffic.controller.policy_changes(clock::now()) {
+            tracing::info!(zone, class, policy = ?leave, "cross-zone policy changed");
+            self.handle_core_input(Input::CrossZonePolicyChanged { zone, class, leave });
         }
     }
 
-    pub(super) fn over(&self) -> bool {
-        let said = self.players.is_empty() && self.shared.controls.load(Ordering::Acquire) == 0;
-        self.end_by.is_some_and(|by| said || clock::now() >= by)
+    pub(super) fn save_traffic_account(&mut self) {
+        if self.traffic_writer.is_enabled() {
+            let account = self.traffic.report();
+            self.traffic_writer.write(account);
+        }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/event_loop/messages.rs
@@ -0,0 +1,65 @@
+//! Dispatch of messages, and the handlers of those from players, operators and peers.
+use super::EventLoop;
+use crate::message::Message;
+use crate::player::Player;
+use crankpaddle_config::Config;
+use crankpaddle_front::{Input, PlayerId};
+use crankpaddle_net::clock;
+use std::sync::Arc;
+
+impl EventLoop {
+    pub(super) fn handle_message(&mut self, message: Message) {
+        match message {
+            Message::PlayerConnected { player } => self.player_connected(player),
+            Message::PlayerRequest { input } => self.player_requested(input),
+            Message::PlayerDisconnected { player } => self.player_disconnected(player),
+            Message::SetUpCompleted { attempt, result } => self.set_up_completed(attempt, result),
+            Message::Server { server, message } => self.handle_server_message(server, message),
+            Message::BudgetsChanged { config } => self.budgets_changed(&config),
+            Message::TrafficReportRequested { reply } => {
+                let _ = reply.send(self.traffic.report()); // The requester may be gone.
+            }
+            Message::EndpointListReceived { kind, list } => {
+                self.endpoint_list_received(kind, &list);
+            }
+            Message::EndpointListUnavailable => self.endpoint_list_unavailable(),
+            Message::IntentWritten {
+                attempt,
+                is_durable,
+            } => self.intent_written(attempt, is_durable),
+            Message::FleetStatusRequested { reply } => {
+                let _ = reply.send(self.fleet_status()); // The requester may be gone.
+            }
+            Message::FleetSizeChanged { fronts } => {
+                self.handle_core_input(Input::FleetSizeChanged(fronts));
+            }
+            Message::DrainRequested => self.start_draining(),
+        }
+    }
+
+    fn player_connected(&mut self, player: Arc<Player>) {
+        self.players.insert(player.id, player);
+    }
+
+    fn player_requested(&mut self, input: Input) {
+        self.shared.request_dequeued();
+        if let Input::Open { open, .. } = &input {
+            self.traffic
+                .controller
+                .session_requested(open.class, clock::now());
+            self.apply_cross_zone_policy();
+        }
+        self.handle_core_input(input);
+    }
+
+    fn player_disconnected(&mut self, player: PlayerId) {
+        self.players.remove(&player);
+        self.handle_core_input(Input::PlayerDisconnected(player));
+    }
+
+    fn budgets_changed(&mut self, config: &Config) {
+        tracing::info!(budgets = config.budgets.len(), "traffic budgets changed");
+        self.traffic.change_budgets(config);
+        self.apply_cross_zone_policy();
+    }
+}
--- a/crates/daemon/src/event_loop/outputs.rs
+++ b/crates/daemon/src/event_loop/outputs.rs
@@ -1,173 +1,239 @@
-//! What is to be done, carried out.
-use super::{EventLoop, Live};
-use crate::attempt_sender::Out;
-use crate::shared::Msg;
+//! Performs what the core decided: answers, notifications, set-ups, rung changes and teardowns.
+use super::{EventLoop, LiveAttempt};
+use crate::attempt_sender::{AttemptHandle, SetUpRequest};
+use crate::config_lookup::name_at;
+use crate::message::Message;
+use crate::server_link::ServerLink;
 use crankpaddle_front::{
-    Answer, AttemptId, Call, Input, Notification, Output, PlayerId, RequestId, ServerId,
+    Answer, AttemptId, AttemptOutcome, Call, Notification, Output, PlayerId, RequestId, ServerId,
     SetUpOrder, SetUpResult,
 };
 use crankpaddle_net::clock;
 use crankpaddle_server_protocol::sessions;
 use crankpaddle_session_api::answers;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
+/// A set-up that the core ordered.
+struct SetUp {
+    attempt: AttemptId,
+    request: RequestId,
+    /// The attempt's number within its request.
+    number: u8,
+    server: ServerId,
+    order: SetUpOrder,
+}
+
 impl EventLoop {
-    pub(super) fn carry_out(&mut self) {
-        let mut effects = std::mem::take(&mut self.effects);
-        for effect in effects.drain(..) {
-            match effect {
-                Output::Answer(call, answer) => self.answer(call, &answer),
-                Output::Notify(player, session, notice) => self.notify(player, session, notice),
-                Output::StartSetUp {
-                    attempt,
-                    request,
-                    number,
-                    server,
-                    order,
-                    ..
-                } => {
-                    self.set_up(attempt, request, number, server, &order);
-                }
-                Output::SessionAdopted { .. } => {} // Nothing is adopted here.
-                Output::FoundSessionHandled { token, attempt, .. } => self.found(token, attempt),
-                Output::StageReached(stage, why) => self.stepped(stage, why),
-                Output::AbandonAttempt(attempt, server) => {
-                    tracing::info!(attempt = attempt.0, server = server.0, "abandoned");
-                    if let Some(live) = self.release(attempt, false) {
-                        live.out.abandon();
-                        // It may have been set up all the same, or still be.
-                        live.link.tear_down(&self.shared, &live.name);
-                    }
-                }
-                Output::SetRung(attempt, server, rung) => {
-                    tracing::info!(attempt = attempt.0, server = server.0, rung, "rung");
-                    self.traffic
-                        .desk
-                        .rung_changed(attempt.0, rung, clock::now());
-                    if let Some(live) = self.live.get(&attempt) {
-                        live.link.set_rung(&self.shared, &live.name, rung);
-                    }
-                }
-                Output::TearDown(attempt, server) => {
-                    tracing::debug!(attempt = attempt.0, server = server.0, "torn down");
-                    if let Some(live) = self.release(attempt, false) {
-                        live.link.tear_down(&self.shared, &live.name);
-                    }
-                }
-                // The list comes unasked, and servers are not probed: the settings say so.
-                Output::HealthCheck(_) | Output::SubscribeEndpoints | Output::FetchEndpoints => {}
-                Output::Log(line) => tracing::debug!(line, "module"),
-            }
+    /// Performs the core's outputs in their order. Those that come up meanwhile are performed by the call
+    /// that caused them.
+    pub(super) fn perform_outputs(&mut self) {
+        let mut outputs = std::mem::take(&mut self.outputs);
+        for output in outputs.drain(..) {
+            self.perform_output(output);
         }
-        self.effects = effects;
+        self.outputs = outputs; // Its memory is reused.
     }
 
-    pub(super) fn answer(&mut self, call: Call, answer: &Answer) {
-        let (mut media, mut hall) = (String::new(), "");
-        match answer {
-            Answer::Established {
-                session,
+    fn perform_output(&mut self, output: Output) {
+        match output {
+            Output::Answer(call, answer) => self.answer_call(call, &answer),
+            Output::Notify(player, session, notification) => {
+                self.notify_player(player, session, notification);
+            }
+            Output::StartSetUp {
                 attempt,
+                request,
+                number,
                 server,
-                rung,
-            } => {
-                if let Some(live) = self.live.get(attempt) {
-                    media = format!(
-                        "http://{}{}",
-                        live.link.address,
-                        sessions::media_path(&live.name)
-                    );
-                    hall = self.traffic.hall(live.server);
-                }
-                let (request, attempt, server) = (session.0, attempt.0, server.0);
-                tracing::info!(
-                    request,
-                    attempt,
-                    server,
-                    rung,
-                    player = call.player.0,
-                    "plays"
-                );
+                order,
+                ..
+            } => self.start_set_up(&SetUp {
+                attempt,
+                request,
+                number,
+                server,
+                order,
+            }),
+            Output::SessionAdopted { .. } => {} // Only inputs that this crate never gives lead to it.
+            Output::FoundSessionHandled { token, attempt, .. } => {
+                self.found_session_handled(token, attempt);
             }
-            Answer::Closed => tracing::debug!(player = call.player.0, call = call.number, "closed"),
-            other => {
-                tracing::info!(player = call.player.0, call = call.number, answer = ?other, "answered");
+            Output::StageReached(stage, evidence) => self.recovery_stage_reached(stage, evidence),
+            Output::AbandonAttempt(attempt, server) => self.abandon_attempt(attempt, server),
+            Output::SetRung(attempt, server, rung) => self.set_rung(attempt, server, rung),
+            Output::TearDown(attempt, server) => self.tear_down(attempt, server),
+            // The list service sends lists unasked, and the settings switch health checks off.
+            Output::HealthCheck(_) | Output::SubscribeEndpoints | Output::FetchEndpoints => {}
+            Output::Log(line) => tracing::debug!(line, "policy log"),
+        }
+    }
+
+    fn answer_call(&mut self, call: Call, answer: &Answer) {
+        log_answer(call, answer);
+        let mut established = None;
+        let mut media_url = String::new();
+        let mut zone = "";
+        if let Answer::Established {
+            session, attempt, ..
+        } = answer
+        {
+            established = Some(*session);
+            if let Some(live) = self.attempts.get(attempt) {
+                let path = sessions::media_path(&live.name);
+                media_url = format!("http://{}{path}", live.link.address);
+                zone = self.traffic.zone_name(live.server);
             }
         }
         if let Some(player) = self.players.get(&call.player) {
-            let session = if let Answer::Established { session, .. } = answer {
-                Some(*session)
-            } else {
-                None
-            };
             let version = player.version;
-            player.answer(call.number, session, |id| {
-                answers::answer(version, id, answer, &media, hall)
+            player.answer(call.number, established, |id| {
+                answers::answer(version, id, answer, &media_url, zone)
             });
         }
     }
 
-    pub(super) fn notify(&mut self, player: PlayerId, session: RequestId, notice: Notification) {
-        tracing::debug!(player = player.0, request = session.0, ?notice, "told");
+    fn notify_player(&mut self, player: PlayerId, session: RequestId, notification: Notification) {
+        tracing::debug!(
+            player_id = player.0,
+            request_id = session.0,
+            ?notification,
+            "player notified"
+        );
         if let Some(player) = self.players.get(&player) {
-            player.notify(session, answers::notice(session, notice));
+            player.notify(session, answers::notice(session, notification));
         }
     }
 
-    pub(super) fn set_up(
-        &mut self,
-        attempt: AttemptId,
-        request: RequestId,
-        number: u8,
-        server: ServerId,
-        order: &SetUpOrder,
-    ) {
-        let (id, rung, request) = (server.0, order.rung, request.0);
+    fn start_set_up(&mut self, set_up: &SetUp) {
+        let SetUp {
+            attempt,
+            server,
+            order,
+            ..
+        } = set_up;
         tracing::info!(
-            request,
-            attempt = attempt.0,
-            number,
-            server = id,
-            rung,
+            request_id = set_up.request.0,
+            attempt_id = attempt.0,
+            attempt_number = set_up.number,
+            server_id = server.0,
+            rung = order.rung,
             class = order.class,
-            "set-up"
+            "set-up started"
         );
-        let Some(link) = self.servers.get(&server).and_then(|s| s.link.clone()) else {
+        let state = self.servers.get(server);
+        let Some(link) = state.and_then(|state| state.link.clone()) else {
             // Listed without an address here: nothing can be sent.
-            let moot = SetUpResult::Ended(crankpaddle_front::AttemptOutcome::NotSent, Vec::new());
-            self.shared
-                .tell(Msg::Server(Input::SetUpCompleted(attempt, moot)));
+            self.shared.send(Message::SetUpCompleted {
+                attempt: *attempt,
+                result: SetUpResult::Ended(AttemptOutcome::NotSent, Vec::new()),
+            });
             return;
         };
+        let name = self.shared.names.attempt(*attempt);
+        let body = self.set_up_body(order);
+        let request = SetUpRequest {
+            address: link.address,
+            bytes: sessions::set_up(&link.address.to_string(), &name, &body),
+            handle: Arc::default(),
+        };
+        let handle = request.handle.clone();
+        link.attempt_added(&self.shared);
+        self.attempt_ids.insert(name.clone(), *attempt);
+        self.traffic
+            .attempt_started(*attempt, set_up.number, *server, order);
+        self.track_attempt(*attempt, *server, name, link, handle);
+        self.send_attempt(*attempt, *server, order, request);
+    }
+
+    pub(super) fn track_attempt(
+        &mut self,
+        attempt: AttemptId,
+        server: ServerId,
+        name: String,
+        link: Arc<ServerLink>,
+        handle: Arc<AttemptHandle>,
+    ) {
+        let live = LiveAttempt {
+            server,
+            name,
+            link,
+            handle,
+        };
+        self.attempts.insert(attempt, live);
+    }
+
+    fn set_up_body(&self, order: &SetUpOrder) -> sessions::SetUpBody {
         let config = &self.shared.config;
-        let name = self.shared.names.attempt(attempt);
-        let of_names = |names: &[String], n: usize| names.get(n).cloned().unwrap_or_default();
-        let body = sessions::SetUpBody {
+        let title = self.title_names.get(&order.title);
+        sessions::SetUpBody {
             front: self.shared.names.front().to_owned(),
             bill: order.key.clone(),
-            title: self.titles.get(&order.title).cloned().unwrap_or_default(),
-            class: of_names(&config.classes, usize::from(order.class)),
-            tenant: of_names(&config.tenants, usize::from(order.tenant)),
+            title: title.cloned().unwrap_or_default(),
+            class: name_at(&config.classes, usize::from(order.class)),
+            tenant: name_at(&config.tenants, usize::from(order.tenant)),
             rung: order.rung,
-            zone: of_names(&config.zones, usize::from(config.settings.zone)),
-        };
-        let bytes = sessions::set_up(&link.address.to_string(), &name, &body);
-        let out = Arc::new(Out::default());
-        link.held.fetch_add(1, Ordering::AcqRel);
-        link.subscribe(&self.shared);
-        self.names.insert(name.clone(), attempt);
-        self.traffic.attempt(attempt, number, server, order);
-        let address = link.address;
-        self.live.insert(
-            attempt,
-            Live {
-                server,
-                name,
-                link,
-                out: out.clone(),
-            },
+            zone: name_at(&config.zones, usize::from(config.settings.zone)),
+        }
+    }
+
+    fn abandon_attempt(&mut self, attempt: AttemptId, server: ServerId) {
+        tracing::info!(
+            attempt_id = attempt.0,
+            server_id = server.0,
+            "attempt abandoned"
         );
-        self.send(attempt, server, order, address, bytes, out);
+        if let Some(live) = self.release(attempt, false) {
+            live.handle.abandon();
+            // It may have been set up all the same, or still be.
+            live.link.tear_down(&self.shared, &live.name);
+        }
+    }
+
+    fn set_rung(&mut self, attempt: AttemptId, server: ServerId, rung: u8) {
+        tracing::info!(
+            attempt_id = attempt.0,
+            server_id = server.0,
+            rung,
+            "rung changed"
+        );
+        self.traffic
+            .controller
+            .rung_changed(attempt.0, rung, clock::now());
+        if let Some(live) = self.attempts.get(&attempt) {
+            live.link.set_rung(&self.shared, &live.name, rung);
+        }
+    }
+
+    fn tear_down(&mut self, attempt: AttemptId, server: ServerId) {
+        tracing::debug!(
+            attempt_id = attempt.0,
+            server_id = server.0,
+            "session torn down"
+        );
+        if let Some(live) = self.release(attempt, false) {
+            live.link.tear_down(&self.shared, &live.name);
+        }
+    }
+}
+
+fn log_answer(call: Call, answer: &Answer) {
+    let player_id = call.player.0;
+    let call_id = call.number;
+    match answer {
+        Answer::Established {
+            session,
+            attempt,
+            server,
+            rung,
+        } => tracing::info!(
+            request_id = session.0,
+            attempt_id = attempt.0,
+            server_id = server.0,
+            rung,
+            player_id,
+            "session established"
+        ),
+        Answer::Closed => tracing::debug!(player_id, call_id, "session closed"),
+        other => tracing::info!(player_id, call_id, answer = ?other, "request answered"),
     }
 }
--- /dev/null
+++ b/crates/daemon/src/event_loop/reconciliation.rs
@@ -0,0 +1,249 @@
+//! Reconciliation with the servers: which set-ups of a previous incarnation ran, and which sessions still
+//! play.
+use super::durable_state::{DeferredList, FoundSession};
+use super::{EventLoop, MILLISECOND};
+use crate::inventory_client;
+use crankpaddle_front::{
+    keys::RequestOutcome, Endpoint, EndpointListKind, Input, Lifecycle, RecoveryStage, ServerId,
+    StageEvidence, Time,
+};
+use crankpaddle_net::clock;
+use crankpaddle_recovery::reconciliation::{ReconciliationStep, Resolution};
+use crankpaddle_recovery::{Intent, IntentOutcome, Key, Reconciliation};
+use crankpaddle_server_protocol::session_inventory::SessionInventory;
+
+impl EventLoop {
+    /// Defers a list while it is not known which servers are warming up; true where it does.
+    pub(super) fn defer_endpoints(&mut self, kind: EndpointListKind, listed: &[Endpoint]) -> bool {
+        let Some(durable) = &mut self.durable else {
+            return false;
+        };
+        if !durable.is_reconciling {
+            return false;
+        }
+        durable.deferred_lists.push(DeferredList {
+            kind,
+            endpoints: listed.to_vec(),
+        });
+        let present: Vec<u32> = listed
+            .iter()
+            .filter(|endpoint| endpoint.lifecycle != Lifecycle::Removed)
+            .map(|endpoint| endpoint.server.0)
+            .collect();
+        if !present.is_empty() {
+            let steps = durable.reconciliation.update_servers(present);
+            self.handle_core_input(Input::EndpointsKnown);
+            self.perform_steps(steps);
+        }
+        true
+    }
+
+    /// Applies a change to the reconciliation; the default where no store is configured.
+    pub(super) fn reconcile<T: Default>(
+        &mut self,
+        change: impl FnOnce(&mut Reconciliation) -> T,
+    ) -> T {
+        match &mut self.durable {
+            Some(durable) => change(&mut durable.reconciliation),
+            None => T::default(),
+        }
+    }
+
+    fn perform_steps(&mut self, steps: impl IntoIterator<Item = ReconciliationStep>) {
+        for step in steps {
+            self.perform_step(step);
+        }
+        self.check_reconciliation_complete();
+    }
+
+    fn perform_step(&mut self, step: ReconciliationStep) {
+        let (ReconciliationStep::RequestInventory(number) | ReconciliationStep::Fence(number, _)) =
+            &step;
+        let server = ServerId(*number);
+        let state = self.servers.get(&server);
+        let Some(link) = state.and_then(|state| state.link.as_ref()) else {
+            self.reconcile(|state| state.server_unreachable(server.0));
+            return;
+        };
+        let shared = self.shared.clone();
+        match step {
+            ReconciliationStep::RequestInventory(_) => {
+                inventory_client::request_inventory(shared, server, link.address);
+            }
+            ReconciliationStep::Fence(_, attempt_name) => {
+                inventory_client::fence_attempt(shared, server, link.address, attempt_name);
+            }
+        }
+    }
+
+    fn check_reconciliation_complete(&mut self) {
+        let Some(durable) = &self.durable else { return };
+        if durable.is_reconciling && durable.reconciliation.is_complete() {
+            self.handle_core_input(Input::ReconciliationCompleted);
+        }
+    }
+
+    pub(super) fn fence_completed(
+        &mut self,
+        server: ServerId,
+        attempt_name: &str,
+        is_confirmed: bool,
+    ) {
+        let step = self.reconcile(|state| {
+            if !is_confirmed {
+                state.server_unreachable(server.0);
+                return None;
+            }
+            state.fence_confirmed(server.0, attempt_name)
+        });
+        self.perform_steps(step);
+    }
+
+    /// A server that could not be reached may be reachable again.
+    pub(super) fn retry_reconciliation(&mut self, server: ServerId) {
+        let step = self.reconcile(|state| state.server_reachable(server.0));
+        self.perform_steps(step);
+    }
+
+    pub(super) fn inventory_unavailable(&mut self, server: ServerId) {
+        self.reconcile(|state| state.server_unreachable(server.0));
+        self.check_reconciliation_complete();
+    }
+
+    pub(super) fn inventory_received(&mut self, server: ServerId, inventory: SessionInventory) {
+        let age = inventory.age_ms.saturating_mul(MILLISECOND);
+        let started_at = clock::now().saturating_sub(age);
+        if let (Some(state), Some(incarnation)) =
+            (self.servers.get_mut(&server), inventory.boots.last())
+        {
+            state.connection.incarnation_reported(incarnation);
+        }
+        let shared = self.shared.clone();
+        let inventory = inventory.into_recovery();
+        let (resolutions, steps) = self.reconcile(|state| {
+            state.receive_inventory(server.0, &inventory, |name| {
+                shared.names.attempt_of(name).is_some()
+            })
+        });
+        tracing::info!(
+            server_id = server.0,
+            age_ms = (clock::now() - started_at) / MILLISECOND,
+            ?resolutions,
+            "session inventory received"
+        );
+        self.record_server_start(server, started_at);
+        for resolution in resolutions {
+            self.apply_resolution(resolution);
+        }
+        self.perform_steps(steps);
+    }
+
+    /// A server whose first inventory comes after service resumed was taken for one that has just started; it
+    /// may have started even later than that.
+    fn record_server_start(&mut self, server: ServerId, started_at: u64) {
+        let Some(durable) = &mut self.durable else {
+            return;
+        };
+        let is_first = durable.server_starts.insert(server, started_at).is_none();
+        if is_first && !durable.is_reconciling {
+            self.server_started(server, started_at);
+        }
+    }
+
+    fn apply_resolution(&mut self, resolution: Resolution) {
+        match resolution {
+            Resolution::Adopt(server, session) => self.session_found(FoundSession {
+                server: ServerId(server),
+                session,
+            }),
+            Resolution::TearDown(server, session_name) => {
+                tracing::info!(
+                    server_id = server,
+                    reason = "its viewer was notified that it failed",
+                    "found session torn down"
+                );
+                self.tear_down_found_session(ServerId(server), &session_name);
+            }
+            Resolution::Completed(key) => {
+                self.resolve_key(&key, IntentOutcome::Completed, RequestOutcome::Played);
+            }
+            Resolution::Unprovable(key) => {
+                self.resolve_key(&key, IntentOutcome::Failed, RequestOutcome::Failed);
+            }
+            Resolution::NeverRan(key) => self.release_key(&key),
+        }
+    }
+
+    /// A set-up never ran: its key can be used again.
+    fn release_key(&mut self, key: &Key) {
+        let Some(durable) = &mut self.durable else {
+            return;
+        };
+        let write = durable.ledger.remove_never_ran(key);
+        durable.write(write);
+        self.key_resolved(key, "", None);
+    }
+
+    /// A set-up ran, or may have: its key is spent. It is written even where the ledger had no entry of it.
+    fn resolve_key(&mut self, key: &Key, outcome: IntentOutcome, request_outcome: RequestOutcome) {
+        let retention_ms = self.shared.config.terms.key_retention / MILLISECOND;
+        let Some(durable) = &mut self.durable else {
+            return;
+        };
+        let uptime_ms = durable.uptime_ms();
+        let write = if durable.ledger.get(key).is_some() {
+            durable.ledger.set_outcome(key, outcome, uptime_ms)
+        } else {
+            let intent = Intent {
+                class: String::new(),
+                server: 0,
+                attempt_name: String::new(),
+                server_incarnation: String::new(),
+                outcome,
+                retained_until: uptime_ms.saturating_add(retention_ms),
+            };
+            Some(durable.ledger.insert_recovered(key.clone(), intent))
+        };
+        durable.write(write);
+        self.key_resolved(key, "", Some(request_outcome));
+    }
+
+    /// A stage of the return to service; from the paid stage on, service resumes.
+    pub(super) fn recovery_stage_reached(&mut self, stage: RecoveryStage, evidence: StageEvidence) {
+        tracing::info!(?stage, reason = ?evidence, "recovery stage reached");
+        let durable = self.durable.as_ref();
+        let is_reconciling = durable.is_some_and(|durable| durable.is_reconciling);
+        if is_reconciling && stage >= RecoveryStage::PaidOnly {
+            self.resume_service();
+        }
+    }
+
+    /// Passes all that is known to the core: servers, the sessions that they hold, and the keys that stay
+    /// unresolved.
+    fn resume_service(&mut self) {
+        let Some(durable) = &mut self.durable else {
+            return;
+        };
+        durable.is_reconciling = false;
+        let lists = std::mem::take(&mut durable.deferred_lists);
+        let server_starts = durable.server_starts.clone();
+        let now = Time(clock::now());
+        for DeferredList {
+            kind,
+            mut endpoints,
+        } in lists
+        {
+            for endpoint in &mut endpoints {
+                // Why: after a power loss each server is warming up, while a cached list says that it started
+                // long ago. So a server without an inventory counts as started now. The cost: a warmed-up
+                // server out of reach starts slowly.
+                let reported = server_starts.get(&endpoint.server).copied().map(Time);
+                endpoint.started_at = reported.unwrap_or(endpoint.started_at.max(now));
+            }
+            self.handle_core_input(Input::EndpointList(kind, endpoints));
+        }
+        self.expire_unresolved_keys();
+        self.adopt_found_sessions();
+        self.handle_core_input(Input::ServiceResumed);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/event_loop/shutdown.rs
@@ -0,0 +1,99 @@
+//! Graceful shutdown: draining, stopping, and the end of the loop.
+use super::{EventLoop, MILLISECOND};
+use crankpaddle_front::Input;
+use crankpaddle_net::clock;
+use std::thread::JoinHandle;
+
+/// While stopping, players and servers get this long to receive what is still sent, nanoseconds.
+const STOP_TIMEOUT: u64 = 1000 * MILLISECOND;
+
+/// How far the front is on its way to the end. Deadlines are clock times in nanoseconds.
+#[derive(Clone, Copy)]
+pub(super) enum Shutdown {
+    Running,
+    /// Nothing new is taken; requests are answered until the deadline.
+    Draining {
+        deadline: u64,
+    },
+    /// Sessions were ended; connections are closed until the deadline.
+    Stopping {
+        deadline: u64,
+    },
+}
+
+impl Shutdown {
+    pub(super) fn deadline(self) -> u64 {
+        match self {
+            Shutdown::Running => u64::MAX,
+            Shutdown::Draining { deadline } | Shutdown::Stopping { deadline } => deadline,
+        }
+    }
+
+    pub(super) fn is_stopping(self) -> bool {
+        matches!(self, Shutdown::Stopping { .. })
+    }
+}
+
+impl EventLoop {
+    /// Handles [`crate::message::Message::DrainRequested`]; a second request changes nothing.
+    pub(super) fn start_draining(&mut self) {
+        if !matches!(self.shutdown, Shutdown::Running) {
+            return;
+        }
+        tracing::info!(
+            waiting = self.core.waiting(),
+            playing = self.core.playing(),
+            "draining started"
+        );
+        self.shared.start_draining();
+        let deadline = clock::now().saturating_add(self.shared.limits().drain);
+        self.shutdown = Shutdown::Draining { deadline };
+        self.handle_core_input(Input::Drain);
+    }
+
+    /// Ends sessions and closes players' connections once all requests are answered or the drain's deadline
+    /// has passed.
+    pub(super) fn advance_shutdown(&mut self) {
+        let Shutdown::Draining { deadline } = self.shutdown else {
+            return;
+        };
+        let now = clock::now();
+        if self.core.waiting() > 0 && now < deadline {
+            return;
+        }
+        tracing::info!(playing = self.core.playing(), "stopping sessions");
+        self.shutdown = Shutdown::Stopping {
+            deadline: now + STOP_TIMEOUT,
+        };
+        self.handle_core_input(Input::Stop);
+        for player in self.players.values() {
+            player.close();
+        }
+    }
+
+    /// Whether the front has stopped: all is sent, or there was time enough.
+    pub(super) fn is_finished(&self) -> bool {
+        let Shutdown::Stopping { deadline } = self.shutdown else {
+            return false;
+        };
+        let all_sent = self.players.is_empty() && !self.shared.has_pending_controls();
+        all_sent || clock::now() >= deadline
+    }
+
+    /// Writes what shall be on disk at the end; returns the threads that write it.
+    pub(super) fn finish(mut self) -> Vec<JoinHandle<()>> {
+        while self.traffic.settle_step() {}
+        self.save_traffic_account();
+        tracing::info!("front stopped");
+        let is_clean = self.core.waiting() == 0 && self.core.playing() == 0;
+        let store_thread = self.durable.and_then(|durable| durable.finish(is_clean));
+        [
+            self.list_writer.finish(),
+            self.traffic_writer.finish(),
+            store_thread,
+        ]
+        .into_iter()
+        .flatten()
+        .collect()
+    }
+}
--- a/crates/daemon/src/event_loop/status.rs
+++ b/crates/daemon/src/event_loop/status.rs
@@ -1,41 +1,54 @@
-//! What is told of this front's past at `GET /fleet`.
+//! The reply to `GET /fleet`: the state of the store and of recovery.
+use super::durable_state::DurableState;
 use super::{EventLoop, MILLISECOND};
 use crankpaddle_api::describe::{Fleet, ReturnStep, ServiceStage, StepReason, StoreState};
 use crankpaddle_front::{RecoveryStage, StageEvidence};
 use crankpaddle_net::clock;
 
 impl EventLoop {
-    /// What this front knows of its past; `None`: it keeps none.
-    pub(super) fn fleet(&self) -> Option<Fleet> {
-        let kept = self.paid.as_ref()?;
-        let now = clock::now();
-        let step = |(at, stage, why): &(u64, RecoveryStage, StageEvidence)| ReturnStep {
-            stage: stage_told(*stage),
-            why: reason_told(*why),
-            ago_ms: now.saturating_sub(*at) / MILLISECOND,
-        };
-        let (told, out_of_reach, asked) = kept.settling.counts();
+    /// The status; `None` where no store is configured.
+    pub(super) fn fleet_status(&self) -> Option<Fleet> {
+        let durable = self.durable.as_ref()?;
+        let (answered, unreachable, requested) = durable.reconciliation.counts();
+        // The fields are named as in the JSON of `GET /fleet`.
         Some(Fleet {
-            stage: stage_told(self.core.stage()),
-            steps: self.core.recovery().steps().iter().map(step).collect(),
+            stage: service_stage(self.core.stage()),
+            steps: self.recovery_steps(),
             held: self.core.queued_for_recovery() as u64,
-            unsettled: kept.settling.unresolved_count() as u64,
-            servers_told: told as u64,
-            servers_out_of_reach: out_of_reach as u64,
-            servers_asked: asked as u64,
-            kept: kept.ledger.len() as u64,
+            unsettled: durable.reconciliation.unresolved_count() as u64,
+            servers_told: answered as u64,
+            servers_out_of_reach: unreachable as u64,
+            servers_asked: requested as u64,
+            kept: durable.ledger.len() as u64,
             reckoned_fronts: self.core.replica_count(),
-            store: match (&kept.writer, kept.failing) {
-                (None, _) => StoreState::Unusable,
-                (_, true) => StoreState::Failing,
-                _ => StoreState::Written,
-            },
-            ..kept.told.clone()
+            store: store_state(durable),
+            ..durable.base_status.clone()
         })
     }
+
+    fn recovery_steps(&self) -> Vec<ReturnStep> {
+        let now = clock::now();
+        let steps = self.core.recovery().steps().iter();
+        let step = steps.map(|(reached_at, stage, evidence)| ReturnStep {
+            stage: service_stage(*stage),
+            why: step_reason(*evidence),
+            ago_ms: now.saturating_sub(*reached_at) / MILLISECOND,
+        });
+        step.collect()
+    }
+}
+
+fn store_state(durable: &DurableState) -> StoreState {
+    if durable.writer.is_none() {
+        StoreState::Unusable
+    } else if durable.is_write_failing {
+        StoreState::Failing
+    } else {
+        StoreState::Written
+    }
 }
 
-fn stage_told(stage: RecoveryStage) -> ServiceStage {
+fn service_stage(stage: RecoveryStage) -> ServiceStage {
     match stage {
         RecoveryStage::Offline => ServiceStage::Dark,
         RecoveryStage::Reading => ServiceStage::Reading,
@@ -46,8 +59,8 @@
     }
 }
 
-fn reason_told(why: StageEvidence) -> StepReason {
-    match why {
+fn step_reason(evidence: StageEvidence) -> StepReason {
+    match evidence {
         StageEvidence::Started => StepReason::Started,
         StageEvidence::CleanShutdown => StepReason::EndedInOrder,
         StageEvidence::DiskAvailable => StepReason::DiskThere,
--- a/crates/daemon/src/inventory_client.rs
+++ b/crates/daemon/src/inventory_client.rs
@@ -1,5 +1,6 @@
-//! Servers asked what they hold and ran of this front, each in a coroutine of its own.
-use crate::shared::{Msg, Shared};
+//! Requests to servers about a previous incarnation of this front, each in a coroutine of its own.
+use crate::message::ServerMessage;
+use crate::shared::Shared;
 use crankpaddle_front::ServerId;
 use crankpaddle_net::exchange::HttpExchange;
 use crankpaddle_net::{clock, spawn, Socket, Stack};
@@ -8,53 +9,82 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// Bytes of a book at most: some hundred thousand bills.
-const MOST: u64 = 16 << 20;
+/// Bytes of an inventory at most: some hundred thousand bills.
+const MOST_INVENTORY: u64 = 16 << 20;
+/// The status of a response that carries an inventory.
+const OK: u16 = 200;
 
-fn exchange(shared: &Shared, address: &SocketAddr, request: &[u8]) -> Option<(u16, Vec<u8>)> {
-    let socket = Arc::new(Socket::connect(address, shared.connect_within()).ok()?);
-    let within = shared
-        .config
-        .store
-        .as_ref()
-        .map_or(0, |store| store.steps.reconciliation_timeout);
-    socket.set_expiry(clock::now().saturating_add(within));
-    shared.quick.watch(&socket);
-    socket.write_all(request).ok()?;
-    let (response, body) = HttpExchange::new(socket).response(MOST).ok()?;
-    Some((response.status, body))
+struct ServerResponse {
+    status: u16,
+    body: Vec<u8>,
 }
 
-fn read(status: u16, body: &[u8], server: ServerId) -> Option<SessionInventory> {
-    if status != 200 {
-        tracing::warn!(
-            server = server.0,
-            status,
-            "a server does not tell what it holds"
-        );
-        return None;
-    }
-    session_inventory::read(body)
-        .inspect_err(|e| tracing::warn!(server = server.0, %e, "a server's book is malformed"))
-        .ok()
-}
-
-/// Asks for the server's book; the hub is told in any case.
-pub(crate) fn ask(shared: Arc<Shared>, server: ServerId, address: SocketAddr) {
+/// Fetches a server's inventory; the event loop is notified in any case.
+pub(crate) fn request_inventory(shared: Arc<Shared>, server: ServerId, address: SocketAddr) {
     spawn(Stack::Usual, move || {
         let request = session_inventory::request(&address.to_string(), shared.names.front());
-        let told = exchange(&shared, &address, &request)
-            .and_then(|(status, body)| read(status, &body, server));
-        shared.tell(Msg::Book(server, told));
+        let response = exchange(&shared, &address, &request);
+        let inventory = response.and_then(|response| read_inventory(&response, server));
+        let message = match inventory {
+            Some(inventory) => ServerMessage::InventoryReceived { inventory },
+            None => ServerMessage::InventoryUnavailable,
+        };
+        shared.send_from_server(server, message);
     });
 }
 
-/// Ends an attempt of a former life, so that it can't run any more; the hub is told whether it is certain.
-pub(crate) fn fence(shared: Arc<Shared>, server: ServerId, address: SocketAddr, name: String) {
+/// Ends an attempt of a previous incarnation, so that it can't run any more; the event loop is notified
+/// whether that is certain.
+pub(crate) fn fence_attempt(
+    shared: Arc<Shared>,
+    server: ServerId,
+    address: SocketAddr,
+    attempt_name: String,
+) {
     spawn(Stack::Usual, move || {
-        let request = sessions::tear_down(&address.to_string(), &name);
-        let ended = exchange(&shared, &address, &request)
-            .is_some_and(|(status, _)| (200..300).contains(&status));
-        shared.tell(Msg::Fenced(server, name, ended));
+        let request = sessions::tear_down(&address.to_string(), &attempt_name);
+        let response = exchange(&shared, &address, &request);
+        let is_confirmed = response.is_some_and(|response| (200..300).contains(&response.status));
+        let message = ServerMessage::FenceCompleted {
+            attempt_name,
+            is_confirmed,
+        };
+        shared.send_from_server(server, message);
     });
 }
+
+fn exchange(shared: &Shared, address: &SocketAddr, request: &[u8]) -> Option<ServerResponse> {
+    let store = shared.config.store.as_ref();
+    let timeout = store.map_or(0, |store| store.steps.reconciliation_timeout);
+    let socket = Arc::new(Socket::connect(address, shared.connect_timeout()).ok()?);
+    socket.set_expiry(clock::now().saturating_add(timeout));
+    shared.server_sweeper.watch(&socket);
+    socket.write_all(request).ok()?;
+    let (response, body) = HttpExchange::new(socket).response(MOST_INVENTORY).ok()?;
+    Some(ServerResponse {
+        status: response.status,
+        body,
+    })
+}
+
+fn read_inventory(response: &ServerResponse, server: ServerId) -> Option<SessionInventory> {
+    if response.status != OK {
+        tracing::warn!(
+            server_id = server.0,
+            status = response.status,
+            "session inventory unavailable"
+        );
+        return None;
+    }
+    match session_inventory::read(&response.body) {
+        Ok(inventory) => Some(inventory),
+        Err(error) => {
+            tracing::warn!(
+                server_id = server.0,
+                reason = %error,
+                "session inventory malformed"
+            );
+            None
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,181 +1,199 @@
 //! The session front on sockets.
 //!
-//! One coroutine, the `hub`, owns the core and is the only one that decides; all others read sockets, tell the hub
-//! what they read and send what it wants sent. They meet in one queue, so the order of events is the hub's.
+//! One coroutine, the event loop, owns the core and is the only one that decides. All others read sockets,
+//! send the event loop what they read as messages, and write what it wants sent. All messages go through one
+//! queue, so the event loop sees them in one order.
 //!
-//! - `players`: the listener, HTTP and WebSocket;
-//! - `player`: one player's connection as all of them see it;
-//! - `attempts`: set-ups, each over a connection from the `pool`;
-//! - `links`: for each server the stream of its notes and the queue of its rung changes and teardowns;
-//! - `contact`: what the stream's words and silence say of the sessions there, pure;
-//! - `directory`: the list service and the list's copy on disk;
-//! - `peers`: the other fronts, over UDP;
-//! - `kept`: what former lives left, and the front's name; `books`: what servers hold and ran of it;
-//! - `traffic`: what crosses between halls; `keeper`: what is kept on disk.
-#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
+//! - `message`, `shared`: the messages, and what all coroutines share;
+//! - `event_loop`: the decisions, and what is done about them;
+//! - `player_listener`, `http_responses`, `websocket_handshake`, `player_session`, `player_calls`: the
+//!   connections of players;
+//! - `player`: one player's connection as all coroutines see it;
+//! - `attempt_sender`: set-ups, each over a connection from the `connection_pool`;
+//! - `server_link`: for each server the subscription to its events, and the queue of rung changes and
+//!   teardowns;
+//! - `server_connection_state`: which sessions at a server are lost, pure;
+//! - `list_service_client`: the list service, and the copy of the list on disk;
+//! - `membership_runner`, `membership_status`: the other fronts, over UDP;
+//! - `recovered_state`: what previous incarnations left, and the front's name; `inventory_client`: what
+//!   servers hold of them;
+//! - `traffic`: cross-zone traffic; `persistence_thread`: files that are replaced as a whole;
+//! - `names`, `config_lookup`: names and numbers; `key_file`, `errors`.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 mod attempt_sender;
+mod config_lookup;
 mod connection_pool;
 mod errors;
 mod event_loop;
+mod http_responses;
 mod inventory_client;
 mod key_file;
 mod list_service_client;
 mod membership_runner;
+mod membership_status;
+mod message;
 mod names;
 mod persistence_thread;
 mod player;
+mod player_calls;
 mod player_listener;
+mod player_session;
 mod recovered_state;
 mod server_connection_state;
 mod server_link;
 mod shared;
 mod traffic;
+mod websocket_handshake;
 
 use crankpaddle_config::Config;
 use crankpaddle_net::{accept_each, listen, spawn, Stack};
-pub use errors::StartError;
-use shared::{Msg, Shared};
+use crankpaddle_store::OpenedStore;
+pub use errors::{BudgetChangeError, KeyFileError, SavedFileError, StartError};
+use event_loop::EventLoop;
+use may::net::TcpListener;
+use membership_runner::OpenedMembership;
+use message::Message;
+use recovered_state::OpenedState;
+use shared::Shared;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{mpsc, Arc, Mutex, PoisonError};
 use std::thread::JoinHandle;
 
-/// A front that runs.
+/// The threads that still write to disk when the event loop has ended.
+type WriterThreads = Vec<JoinHandle<()>>;
+
+/// A running front.
 pub struct Daemon {
     address: SocketAddr,
     shared: Arc<Shared>,
-    stopped: Arc<AtomicBool>,
-    done: Mutex<mpsc::Receiver<Vec<JoinHandle<()>>>>,
+    /// Ends the coroutines that do not depend on the event loop.
+    is_stopped: Arc<AtomicBool>,
+    finished: Mutex<mpsc::Receiver<WriterThreads>>,
 }
 
 impl Daemon {
     /// Starts a front: it listens when this returns. [`crankpaddle_net::start`] must have been called before.
     ///
     /// # Errors
-    /// Its address can't be listened on, or what it kept on disk can't be used.
+    /// Its address can't be listened on, or what previous incarnations saved on disk can't be used.
     pub fn start(config: Config) -> Result<Daemon, StartError> {
-        // Before it listens: what was kept is read whole before anyone is answered.
-        let kept = config
-            .store
-            .as_ref()
-            .map(recovered_state::open)
-            .transpose()?;
-        Daemon::begin(config, kept)
+        // Before it listens: the state is read completely before anyone is answered.
+        let store = config.store.as_ref();
+        let opened = store.map(recovered_state::open).transpose()?;
+        Daemon::run(config, opened)
     }
 
-    /// The same, with a store on a disk of the caller's.
+    /// The same, with a store that `open_store` opens, given the identity of the host's boot.
     ///
     /// # Errors
     /// As [`Daemon::start`].
     pub fn start_on(
         config: Config,
-        store: impl FnOnce(&str) -> Result<crankpaddle_store::OpenedStore, crankpaddle_store::Error>,
+        open_store: impl FnOnce(&str) -> Result<OpenedStore, crankpaddle_store::Error>,
     ) -> Result<Daemon, StartError> {
-        let kept = config
-            .store
-            .as_ref()
-            .map(|wanted| recovered_state::open_on(wanted, store))
+        let store = config.store.as_ref();
+        let opened = store
+            .map(|store| recovered_state::open_with(store, open_store))
             .transpose()?;
-        Daemon::begin(config, kept)
+        Daemon::run(config, opened)
     }
 
-    fn begin(config: Config, kept: Option<recovered_state::Kept>) -> Result<Daemon, StartError> {
-        let wanted = config.listen;
-        let not_listening = |source| StartError::Listen {
-            address: wanted,
-            source,
-        };
-        let of_former_lives = |source| StartError::Kept { source };
-        let cached = list_service_client::cached(&config).map_err(of_former_lives)?;
-        let account = traffic::kept(&config).map_err(of_former_lives)?;
-        let listener = listen(wanted).map_err(not_listening)?;
-        let address = listener.local_addr().map_err(not_listening)?;
-        let (peers, link) = config
-            .peers
-            .as_ref()
-            .map(membership_runner::open)
-            .transpose()?
-            .unzip();
-        let (shared, inbox) =
-            Shared::new(config, link, kept.as_ref().map(|kept| kept.name.clone()));
-        if let Some(peers) = peers {
-            let of_peers = shared.clone();
-            peers.run(move |known| of_peers.tell(Msg::Members(known)));
+    fn run(config: Config, opened: Option<OpenedState>) -> Result<Daemon, StartError> {
+        let cached_list = list_service_client::load_cached_list(&config)?;
+        let saved_traffic = traffic::load_saved_account(&config)?;
+        let (listener, address) = bind(config.listen)?;
+        let peers = config.peers.as_ref();
+        let membership = peers.map(membership_runner::open).transpose()?;
+        let (membership, membership_handle) = membership.unzip();
+        let front_name = opened.as_ref().map(|opened| opened.front_name.clone());
+        let (shared, inbox) = Shared::new(config, membership_handle, front_name);
+        if let Some(membership) = membership {
+            run_membership(membership, shared.clone());
         }
-        let (finished, done) = mpsc::channel();
-        let stopped = Arc::new(AtomicBool::new(false));
-        let hub = event_loop::EventLoop::new(shared.clone(), cached, account.as_ref(), kept);
+        let (finish, finished) = mpsc::channel();
+        let event_loop =
+            EventLoop::new(shared.clone(), cached_list, saved_traffic.as_ref(), opened);
         spawn(Stack::Large, move || {
-            let writers = hub.run(&inbox);
-            let _ = finished.send(writers); // Nobody may wait.
+            let writers = event_loop.run(&inbox);
+            let _ = finish.send(writers); // Nobody may wait for it.
         });
-        list_service_client::follow(shared.clone(), stopped.clone());
-        player_listener::watch_idle(shared.clone(), stopped.clone());
-        let of_players = shared.clone();
-        accept_each(listener, stopped.clone(), move |socket| {
-            player_listener::serve(socket, &of_players);
+        let is_stopped = Arc::new(AtomicBool::new(false));
+        list_service_client::follow(shared.clone(), is_stopped.clone());
+        player_listener::watch_idle_players(shared.clone(), is_stopped.clone());
+        let listener_shared = shared.clone();
+        accept_each(listener, is_stopped.clone(), move |socket| {
+            player_listener::serve(socket, &listener_shared);
         });
         tracing::info!(%address, "listening");
         Ok(Daemon {
             address,
             shared,
-            stopped,
-            done: Mutex::new(done),
+            is_stopped,
+            finished: Mutex::new(finished),
         })
     }
 
-    /// Where it listens.
+    /// The address that it listens on.
+    #[must_use]
     pub fn address(&self) -> SocketAddr {
         self.address
     }
 
-    /// Takes over the budgets of another configuration; nothing is lost of the account. All else in it waits for a
+    /// Takes over the budgets of another configuration; the traffic account stays. All else in it needs a
     /// restart.
     ///
     /// # Errors
-    /// What differs that the budgets stand on; the old ones hold on.
-    pub fn change_budgets(&self, config: Config) -> Result<(), String> {
-        if let Some(what) = traffic::unlike(&self.shared.config, &config) {
-            return Err(format!(
-                "{what}: changed, which needs a restart; the budgets in force stay"
-            ));
+    /// Settings differ that the budgets build on; the budgets in force stay.
+    pub fn change_budgets(&self, config: Config) -> Result<(), BudgetChangeError> {
+        if let Some(changed) = traffic::changed_settings(&self.shared.config, &config) {
+            return Err(BudgetChangeError { changed });
         }
-        self.shared.tell(Msg::Budgets(Box::new(config)));
+        let config = Box::new(config);
+        self.shared.send(Message::BudgetsChanged { config });
         Ok(())
     }
 
-    /// Takes nothing new from now on, answers what is under way, then ends what plays.
+    /// Starts a graceful shutdown: nothing new is taken, requests are answered, then sessions are ended.
     pub fn drain(&self) {
-        self.shared.tell(Msg::Drain);
+        self.shared.send(Message::DrainRequested);
     }
 
-    /// Waits for the end that [`Daemon::drain`] brings. Call on a thread, not in a coroutine.
+    /// Waits for the end of the shutdown that [`Daemon::drain`] starts. Call on a thread, not in a coroutine.
     pub fn wait(&self) {
         let writers = self
-            .done
+            .finished
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
-            .recv();
-        self.shared
-            .peers
-            .iter()
-            .for_each(membership_runner::Link::leave);
-        // What was to be kept is on disk before the process ends; a writer that panicked has said so.
-        writers
-            .into_iter()
-            .flatten()
-            .for_each(|writer| drop(writer.join()));
-        self.stopped.store(true, Ordering::Release);
-        let _ = TcpStream::connect(self.address); // Wakes the listener, which finds that it is over.
+            .recv()
+            .unwrap_or_default();
+        if let Some(membership) = &self.shared.membership {
+            membership.leave();
+        }
+        for writer in writers {
+            // All is on disk before the process ends; a writer that panicked has reported it.
+            let _ = writer.join();
+        }
+        // Released to the coroutines that poll it, and to the listener, which the connection wakes.
+        self.is_stopped.store(true, Ordering::Release);
+        let _ = TcpStream::connect(self.address);
     }
 
-    /// Requests without an answer, and sessions that play.
+    /// Requests without an answer, and established sessions.
+    #[must_use]
     pub fn counts(&self) -> (usize, usize) {
-        (
-            self.shared.waiting.load(Ordering::Relaxed),
-            self.shared.playing.load(Ordering::Relaxed),
-        )
+        (self.shared.waiting(), self.shared.playing())
     }
 }
+
+fn bind(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
+    let listen_error = |source| StartError::Listen { address, source };
+    let listener = listen(address).map_err(listen_error)?;
+    let bound_address = listener.local_addr().map_err(listen_error)?;
+    Ok((listener, bound_address))
+}
+
+fn run_membership(membership: OpenedMembership, shared: Arc<Shared>) {
+    membership.run(move |fronts| shared.send(Message::FleetSizeChanged { fronts }));
+}
--- a/crates/daemon/src/list_service_client.rs
+++ b/crates/daemon/src/list_service_client.rs
@@ -1,7 +1,10 @@
-//! The list service, and the copy of the list on disk that a front starts from when the service is down.
-use crate::shared::{Msg, Shared};
+//! The subscription to the list service, and the copy of the list on disk that a front starts from without
+//! the service.
+use crate::errors::{SavedFileError, StartError};
+use crate::message::Message;
+use crate::shared::Shared;
 use crankpaddle_config::Config;
-use crankpaddle_net::exchange::{ExchangeError, HttpExchange};
+use crankpaddle_net::exchange::{Events, ExchangeError, HttpExchange};
 use crankpaddle_net::{clock, sleep, spawn, Socket, Stack};
 use crankpaddle_server_protocol::list::{self, CachedEndpoints};
 use std::fs;
@@ -11,77 +14,114 @@
 use std::time::Duration;
 
 const MILLISECOND: u64 = 1_000_000;
-/// First and longest pause between calls of the service; half of it is drawn, so that fronts do not call together.
-const PAUSE: (u64, u64) = (100 * MILLISECOND, 2000 * MILLISECOND);
+/// Backoff after the first failed call, nanoseconds; half of it is drawn, so that fronts do not call
+/// together.
+const FIRST_BACKOFF: u64 = 100 * MILLISECOND;
+/// Longest backoff, nanoseconds.
+const LONGEST_BACKOFF: u64 = 2000 * MILLISECOND;
+/// Doublings of the backoff that are computed at most: beyond them it is the longest in any case.
+const MOST_DOUBLINGS: u32 = 8;
+/// The status of a response that carries a stream of lists.
+const OK: u16 = 200;
 
-/// The list as it was when this front last ran, if there is one.
-pub(crate) fn cached(config: &Config) -> io::Result<Option<CachedEndpoints>> {
+/// The service can't be reached, or sent nothing that could be read.
+struct NoListReceived;
+
+/// The list as a previous incarnation saved it, if there is one. A malformed copy is ignored: the service
+/// sends another.
+///
+/// # Errors
+/// The file can't be read.
+pub(crate) fn load_cached_list(config: &Config) -> Result<Option<CachedEndpoints>, StartError> {
     let Some(path) = &config.list_cache else {
         return Ok(None);
     };
-    match fs::read_to_string(path) {
-        Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(None),
-        Err(e) => Err(io::Error::new(e.kind(), format!("{}: {e}", path.display()))),
-        Ok(text) => match CachedEndpoints::from_text(&text) {
-            Ok(held) => Ok(Some(held)),
-            // A broken copy must not keep a front from starting: the service will tell.
-            Err(what) => {
-                tracing::warn!(path = %path.display(), what, "the cached list is not used");
-                Ok(None)
-            }
-        },
+    let text = match fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(error) => {
+            return Err(StartError::SavedFile {
+                path: path.clone(),
+                source: SavedFileError::Read(error),
+            });
+        }
+    };
+    match CachedEndpoints::from_text(&text) {
+        Ok(endpoints) => Ok(Some(endpoints)),
+        Err(reason) => {
+            tracing::warn!(path = %path.display(), %reason, "cached endpoint list ignored");
+            Ok(None)
+        }
     }
 }
 
-/// Follows the service for ever.
-pub(crate) fn follow(shared: Arc<Shared>, until: Arc<AtomicBool>) {
+/// Follows the service until `is_stopped`.
+pub(crate) fn follow(shared: Arc<Shared>, is_stopped: Arc<AtomicBool>) {
     spawn(Stack::Usual, move || {
-        let mut misses = 0u32;
-        while !until.load(Ordering::Acquire) {
-            let heard = listen(&shared).is_some();
-            shared.tell(Msg::ListFailed);
-            misses = if heard { 0 } else { misses + 1 };
-            let pause = PAUSE.0.saturating_mul(1 << misses.min(8)).min(PAUSE.1);
-            sleep(Duration::from_nanos(rand::random_range(pause / 2..=pause)));
+        let mut consecutive_failures = 0u32;
+        while !is_stopped.load(Ordering::Acquire) {
+            let result = subscribe(&shared);
+            shared.send(Message::EndpointListUnavailable);
+            consecutive_failures = match result {
+                Ok(()) => 0,
+                Err(NoListReceived) => consecutive_failures + 1,
+            };
+            sleep(backoff(consecutive_failures));
         }
     });
 }
 
-/// Listens as long as the service speaks; `None` if it said nothing.
-fn listen(shared: &Shared) -> Option<()> {
-    let address = shared.config.list_service;
-    let socket = Arc::new(Socket::connect(&address, shared.connect_within()).ok()?);
-    let silence = shared.limits().silence;
-    socket.set_expiry(clock::now().saturating_add(silence));
-    shared.quick.watch(&socket);
-    socket
-        .write_all(&list::subscribe(&address.to_string(), shared.names.front()))
-        .ok()?;
-    let mut wire = HttpExchange::new(socket);
-    let head = wire.response_head().ok().filter(|h| h.status == 200)?;
-    let mut events = wire.events(&head, silence).ok()?;
-    let mut heard = None;
+fn backoff(consecutive_failures: u32) -> Duration {
+    let doublings = consecutive_failures.min(MOST_DOUBLINGS);
+    let longest = FIRST_BACKOFF
+        .saturating_mul(1 << doublings)
+        .min(LONGEST_BACKOFF);
+    Duration::from_nanos(rand::random_range(longest / 2..=longest))
+}
+
+/// Receives lists until the stream ends; `Ok` if at least one came.
+fn subscribe(shared: &Shared) -> Result<(), NoListReceived> {
+    let mut events = open_stream(shared).ok_or(NoListReceived)?;
+    let mut result = Err(NoListReceived);
     loop {
         let event = match events.next() {
             Ok(event) => event,
-            Err(fault) => {
-                if let ExchangeError::Bad(bad) = fault {
-                    tracing::warn!(%bad, "the list service's stream is malformed");
+            Err(error) => {
+                if let ExchangeError::Bad(reason) = error {
+                    tracing::warn!(%reason, "list service stream malformed");
                 }
-                return heard;
+                return result;
             }
         };
         match list::read(&event) {
             Ok(Some((kind, list))) => {
-                heard = Some(());
-                shared.tell(Msg::List(kind, list));
+                result = Ok(());
+                shared.send(Message::EndpointListReceived { kind, list });
             }
-            Ok(None) => {}
-            // Danger: after a change that can't be read, later ones apply to the wrong list. Call again for a whole.
-            Err(what) => {
-                tracing::warn!(%what, "the list service's stream is malformed");
-                return heard;
+            Ok(None) => {} // A kind that a later release of the service sends.
+            // Why it ends here: after a change that can't be read, later ones would apply to the wrong list.
+            // The next call gets a complete one.
+            Err(reason) => {
+                tracing::warn!(%reason, "list service stream malformed");
+                return result;
             }
         }
     }
 }
+
+fn open_stream(shared: &Shared) -> Option<Events> {
+    let address = shared.config.list_service;
+    let socket = Socket::connect(&address, shared.connect_timeout()).ok()?;
+    let socket = Arc::new(socket);
+    let silence_timeout = shared.limits().silence;
+    socket.set_expiry(clock::now().saturating_add(silence_timeout));
+    shared.server_sweeper.watch(&socket);
+    let request = list::subscribe(&address.to_string(), shared.names.front());
+    socket.write_all(&request).ok()?;
+    let mut exchange = HttpExchange::new(socket);
+    let head = exchange.response_head().ok()?;
+    if head.status != OK {
+        return None;
+    }
+    exchange.events(&head, silence_timeout).ok()
+}
--- a/crates/daemon/src/membership_runner.rs
+++ b/crates/daemon/src/membership_runner.rs
@@ -1,313 +1,285 @@
-//! The other fronts, over UDP: one coroutine reads, one owns the state machine and sends.
+//! The membership of the fleet, over UDP: one coroutine reads datagrams, one owns the state machine and
+//! sends.
 //!
-//! The hub knows nothing of it: no set-up waits behind a peer's datagram. Where a datagram can't be sent at once it is dropped;
-//! the state machine bears loss.
+//! The event loop only receives the number of fronts: no set-up waits behind a peer's datagram. A datagram
+//! that can't be sent at once is dropped; the state machine tolerates loss.
 use crate::errors::StartError;
 use crate::key_file;
-use crankpaddle_api::describe::{Members, OwnStanding, Peer, PeerState, PeerTurn};
-use crankpaddle_config::Peers as Wanted;
+use crate::membership_status::{describe_members, ChangeHistory};
+use crankpaddle_api::describe::Members;
+use crankpaddle_config::Peers as PeersConfig;
 use crankpaddle_membership::{
     LocalHealth, MemberChange, MemberState, Membership, MembershipConfig, Output,
 };
 use crankpaddle_net::{clock, drain_queue, recv_until, spawn, Stack};
 use may::net::UdpSocket;
 use may::sync::mpsc::{channel, Receiver, Sender};
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::ops::ControlFlow;
+use std::sync::mpsc::RecvTimeoutError;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// Datagrams taken before timers are looked at.
-const BATCH: usize = 64;
+/// Commands handled before timers are checked.
+const COMMAND_BATCH: usize = 64;
 /// A socket that can't be read is tried again after this time.
-const PAUSE: Duration = Duration::from_millis(20);
-/// Bytes of a datagram that are read; one that is longer is none of ours.
-const LONGEST: usize = 2048;
-/// Changes that are told of later.
-const TURNS: usize = 256;
-/// At the end the last words get so long.
-const LAST_WORDS: Duration = Duration::from_millis(500);
+const READ_RETRY_INTERVAL: Duration = Duration::from_millis(20);
+/// Bytes of a datagram that are read; a longer one is not a peer's.
+const MOST_DATAGRAM: usize = 2048;
+/// The announcement that this front leaves may take this long.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(500);
 
-enum Word {
-    Heard(SocketAddr, Vec<u8>),
-    Leave(std::sync::mpsc::Sender<()>),
-    Tell(Sender<Members>),
+enum Command {
+    Receive { from: SocketAddr, bytes: Vec<u8> },
+    Leave { done: std::sync::mpsc::Sender<()> },
+    DescribeMembers { reply: Sender<Members> },
 }
 
-/// The way to the coroutine that owns the members.
+/// A handle to the coroutine that owns the membership.
 #[derive(Clone)]
-pub(crate) struct Link(Sender<Word>);
+pub(crate) struct MembershipHandle(Sender<Command>);
 
-impl Link {
-    /// What is known of the others; `None` if it is not told in time. Call in a coroutine.
-    pub(crate) fn members(&self, until: u64) -> Option<Members> {
-        let (tell, told) = channel();
-        self.0.send(Word::Tell(tell)).ok()?;
-        recv_until(&told, until).ok()
+impl MembershipHandle {
+    /// This front's view of its peers; `None` where there is no reply until `deadline`. Call in a coroutine.
+    pub(crate) fn members(&self, deadline: u64) -> Option<Members> {
+        let (reply, replies) = channel();
+        self.0.send(Command::DescribeMembers { reply }).ok()?;
+        recv_until(&replies, deadline).ok()
     }
 
-    /// Says to the others that this front leaves. Call on a thread, not in a coroutine.
+    /// Announces to the peers that this front leaves. Call on a thread, not in a coroutine.
     pub(crate) fn leave(&self) {
         let (done, left) = std::sync::mpsc::channel();
-        if self.0.send(Word::Leave(done)).is_ok() {
-            let _ = left.recv_timeout(LAST_WORDS); // They find out by themselves, later.
+        if self.0.send(Command::Leave { done }).is_ok() {
+            let _ = left.recv_timeout(LEAVE_TIMEOUT); // Else the peers find out by themselves, later.
         }
     }
 }
 
-/// A front's part in the fleet, before it runs.
-pub(crate) struct Opened {
-    settings: MembershipConfig,
+/// All that is needed to take part in the membership.
+pub(crate) struct OpenedMembership {
+    config: MembershipConfig,
     socket: Arc<UdpSocket>,
-    ways: HashMap<String, SocketAddr>,
-    tell: Sender<Word>,
-    inbox: Receiver<Word>,
+    /// Addresses that go before those that peers state, by name.
+    routes: HashMap<String, SocketAddr>,
+    commands: Sender<Command>,
+    inbox: Receiver<Command>,
 }
 
-/// Opens all that is needed to take part in the fleet.
+/// Reads the key and opens the socket.
 ///
 /// # Errors
 /// The key can't be read, or the address can't be listened on.
-pub(crate) fn open(wanted: &Wanted) -> Result<(Opened, Link), StartError> {
-    let key = key_file::key(&wanted.key_file)?;
-    let named = |source| StartError::Listen {
-        address: wanted.listen,
+pub(crate) fn open(
+    config: &PeersConfig,
+) -> Result<(OpenedMembership, MembershipHandle), StartError> {
+    let key = key_file::read_key(&config.key_file)?;
+    let listen_error = |source| StartError::Listen {
+        address: config.listen,
         source,
     };
-    let socket = Arc::new(UdpSocket::bind(wanted.listen).map_err(named)?);
-    let own = wanted
-        .address
-        .unwrap_or(socket.local_addr().map_err(named)?);
-    let epoch = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or(Duration::ZERO);
-    let settings = MembershipConfig {
-        name: wanted.name.clone(),
-        address: own.to_string(),
-        epoch: epoch.as_millis() as u64,
+    let socket = Arc::new(UdpSocket::bind(config.listen).map_err(listen_error)?);
+    let bound_address = socket.local_addr().map_err(listen_error)?;
+    let own_address = config.address.unwrap_or(bound_address);
+    let membership_config = membership_config(config, own_address, key);
+    tracing::info!(
+        name = config.name,
+        address = %own_address,
+        seeds = ?membership_config.seeds,
+        "membership opened"
+    );
+    let (commands, inbox) = channel();
+    let handle = MembershipHandle(commands.clone());
+    let opened = OpenedMembership {
+        config: membership_config,
+        socket,
+        routes: config.ways.clone(),
+        commands,
+        inbox,
+    };
+    Ok((opened, handle))
+}
+
+fn membership_config(
+    config: &PeersConfig,
+    own_address: SocketAddr,
+    key: [u8; 16],
+) -> MembershipConfig {
+    let unix_time = SystemTime::now().duration_since(UNIX_EPOCH);
+    let epoch = unix_time.unwrap_or(Duration::ZERO).as_millis() as u64;
+    MembershipConfig {
+        name: config.name.clone(),
+        address: own_address.to_string(),
+        epoch,
         incarnation: rand::random(),
         key,
-        seeds: wanted.seeds.iter().map(SocketAddr::to_string).collect(),
-        probe_interval: wanted.probe_every,
-        probe_timeout: wanted.probe_every * 2 / 5,
-        datagrams: f64::from(wanted.datagrams),
-        bytes: wanted.bytes as f64,
+        seeds: config.seeds.iter().map(SocketAddr::to_string).collect(),
+        probe_interval: config.probe_every,
+        probe_timeout: config.probe_every * 2 / 5,
+        datagrams: f64::from(config.datagrams),
+        bytes: config.bytes as f64,
         ..MembershipConfig::default()
-    };
-    tracing::info!(name = wanted.name, address = %own, seeds = ?settings.seeds, "peers");
-    let (tell, inbox) = channel();
-    let link = Link(tell.clone());
-    Ok((
-        Opened {
-            settings,
-            socket,
-            ways: wanted.ways.clone(),
-            tell,
-            inbox,
-        },
-        link,
-    ))
+    }
 }
 
-impl Opened {
-    /// Takes part. `known` is told how many fronts are known, this one with them, whenever that changes.
-    pub(crate) fn run(self, known: impl Fn(u32) + Send + 'static) {
-        let Opened {
-            settings,
-            socket,
-            ways,
-            tell,
-            inbox,
-        } = self;
-        let reads = socket.clone();
-        spawn(Stack::Usual, move || read(&reads, &tell));
-        let peers = Membership::new(settings, rand::random(), clock::now());
-        let (out, turns, known) = (Vec::new(), VecDeque::new(), Box::new(known));
-        let rim = Rim {
-            peers,
-            socket,
-            ways,
-            out,
-            turns,
-            turned: 0,
-            known,
-            counted: 0,
+impl OpenedMembership {
+    /// Takes part. `on_fleet_size` is called with the number of known fronts, this one included, whenever it
+    /// changes.
+    pub(crate) fn run(self, on_fleet_size: impl Fn(u32) + Send + 'static) {
+        let reader_socket = self.socket.clone();
+        let commands = self.commands;
+        spawn(Stack::Usual, move || {
+            read_datagrams(&reader_socket, &commands);
+        });
+        let runner = MembershipRunner {
+            membership: Membership::new(self.config, rand::random(), clock::now()),
+            socket: self.socket,
+            routes: self.routes,
+            outputs: Vec::new(),
+            history: ChangeHistory::default(),
+            on_fleet_size: Box::new(on_fleet_size),
+            reported_fleet_size: 0,
         };
-        spawn(Stack::Large, move || rim.run(&inbox));
+        let inbox = self.inbox;
+        spawn(Stack::Large, move || runner.run(&inbox));
     }
 }
 
-fn read(socket: &UdpSocket, heard: &Sender<Word>) {
-    let mut bytes = [0u8; LONGEST];
+fn read_datagrams(socket: &UdpSocket, commands: &Sender<Command>) {
+    let mut buffer = [0u8; MOST_DATAGRAM];
     loop {
-        match socket.recv_from(&mut bytes) {
-            Ok((n, from)) => {
-                if heard.send(Word::Heard(from, bytes[..n].to_vec())).is_err() {
+        match socket.recv_from(&mut buffer) {
+            Ok((length, from)) => {
+                let bytes = buffer[..length].to_vec();
+                if commands.send(Command::Receive { from, bytes }).is_err() {
                     return;
                 }
             }
-            // A peer that is not there may be told of here; that says nothing of the socket.
-            Err(_) => crankpaddle_net::sleep(PAUSE),
+            // The error may be that of a peer that is not there, reported by the host's network; the socket
+            // is sound.
+            Err(_) => crankpaddle_net::sleep(READ_RETRY_INTERVAL),
         }
     }
 }
 
-struct Rim {
-    peers: Membership,
+struct MembershipRunner {
+    membership: Membership,
     socket: Arc<UdpSocket>,
-    ways: HashMap<String, SocketAddr>,
-    out: Vec<Output>,
-    turns: VecDeque<(u64, MemberChange)>,
-    turned: u64,
-    known: Box<dyn Fn(u32) + Send>,
-    counted: u32,
+    routes: HashMap<String, SocketAddr>,
+    outputs: Vec<Output>,
+    history: ChangeHistory,
+    on_fleet_size: Box<dyn Fn(u32) + Send>,
+    reported_fleet_size: u32,
 }
 
-/// A state as it is told.
-fn told(state: MemberState) -> PeerState {
-    match state {
-        MemberState::Alive => PeerState::Alive,
-        MemberState::Suspect => PeerState::Suspect,
-        MemberState::Gone => PeerState::Gone,
-        MemberState::Left => PeerState::Left,
+impl MembershipRunner {
+    fn run(mut self, inbox: &Receiver<Command>) {
+        while self.run_once(inbox).is_continue() {}
     }
-}
 
-impl Rim {
-    fn run(mut self, inbox: &Receiver<Word>) {
-        loop {
-            let (now, due) = (clock::now(), self.peers.next_expiry());
-            if due > now {
-                match recv_until(inbox, due) {
-                    Ok(word) => {
-                        if self.word(word) {
-                            return;
-                        }
-                    }
-                    Err(std::sync::mpsc::RecvTimeoutError::Timeout) => {}
-                    Err(std::sync::mpsc::RecvTimeoutError::Disconnected) => return,
-                }
+    /// Handles the commands that come until the next deadline, then the timers.
+    fn run_once(&mut self, inbox: &Receiver<Command>) -> ControlFlow<()> {
+        let now = clock::now();
+        let deadline = self.membership.next_expiry();
+        if deadline > now {
+            match recv_until(inbox, deadline) {
+                Ok(command) => self.handle_command(command)?,
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return ControlFlow::Break(()),
             }
-            let mut words = Vec::new();
-            drain_queue(inbox, BATCH, |word| words.push(word));
-            if words.into_iter().any(|word| self.word(word)) {
-                return;
-            }
-            self.peers.expire(clock::now(), &mut self.out);
-            self.carry_out();
         }
+        let mut commands = Vec::new();
+        drain_queue(inbox, COMMAND_BATCH, |command| commands.push(command));
+        for command in commands {
+            self.handle_command(command)?;
+        }
+        self.membership.expire(clock::now(), &mut self.outputs);
+        self.perform_outputs();
+        ControlFlow::Continue(())
     }
 
-    /// True if all is over.
-    fn word(&mut self, word: Word) -> bool {
-        match word {
-            Word::Heard(from, bytes) => {
-                self.peers
-                    .receive(clock::now(), &from.to_string(), &bytes, &mut self.out);
-                self.carry_out();
-                false
+    /// Breaks after the front left.
+    fn handle_command(&mut self, command: Command) -> ControlFlow<()> {
+        match command {
+            Command::Receive { from, bytes } => {
+                let from = from.to_string();
+                self.membership
+                    .receive(clock::now(), &from, &bytes, &mut self.outputs);
+                self.perform_outputs();
             }
-            Word::Tell(tell) => {
-                let _ = tell.send(self.members()); // Who asked may be gone.
-                false
+            Command::DescribeMembers { reply } => {
+                let members = describe_members(clock::now(), &self.membership, &self.history);
+                let _ = reply.send(members); // The requester may be gone.
             }
-            Word::Leave(done) => {
-                self.peers.leave(clock::now(), &mut self.out);
-                self.carry_out();
-                let _ = done.send(()); // Whoever asked may not wait any more.
-                true
+            Command::Leave { done } => {
+                self.membership.leave(clock::now(), &mut self.outputs);
+                self.perform_outputs();
+                let _ = done.send(()); // The requester may have timed out.
+                return ControlFlow::Break(());
             }
         }
+        ControlFlow::Continue(())
     }
 
-    fn members(&self) -> Members {
-        let (now, counters) = (clock::now(), self.peers.counters());
-        let peer = |m: crankpaddle_membership::Member| Peer {
-            name: m.name,
-            address: m.address,
-            state: told(m.state),
-            since_ms: now.saturating_sub(m.since) / 1_000_000,
-            by: m.by,
-            rtt_us: m.rtt.map(|rtt| rtt / 1000),
-        };
-        let first = self.turned + 1 - self.turns.len() as u64;
-        let turn = |((at, c), number): (&(u64, MemberChange), u64)| PeerTurn {
-            number,
-            ago_ms: now.saturating_sub(*at) / 1_000_000,
-            name: c.name.clone(),
-            state: told(c.state),
-            by: c.by.clone(),
-            restarted: c.restarted,
-        };
-        Members {
-            name: self.peers.name().to_owned(),
-            address: self.peers.address().to_owned(),
-            standing: match self.peers.local_health() {
-                LocalHealth::Alone => OwnStanding::Alone,
-                LocalHealth::Connected => OwnStanding::Connected,
-                LocalHealth::Degraded => OwnStanding::Doubtful,
-                LocalHealth::Isolated => OwnStanding::CutOff,
-                LocalHealth::Replaced => OwnStanding::Replaced,
-            },
-            members: self.peers.members().into_iter().map(peer).collect(),
-            sent: counters.sent.0,
-            heard: counters.heard,
-            dropped: counters.dropped(),
-            counted: counters
-                .named()
-                .into_iter()
-                .map(|(name, n)| (name.to_owned(), n))
-                .collect(),
-            turns: self.turns.iter().zip(first..).map(turn).collect(),
-        }
-    }
-
-    fn carry_out(&mut self) {
-        for output in self.out.drain(..) {
+    fn perform_outputs(&mut self) {
+        let mut outputs = std::mem::take(&mut self.outputs);
+        for output in outputs.drain(..) {
             match output {
                 Output::Send {
                     name,
                     address,
                     bytes,
-                } => {
-                    // The front's own book goes before what the other says of itself.
-                    let way = self
-                        .ways
-                        .get(&name)
-                        .copied()
-                        .or_else(|| address.parse().ok());
-                    if let Some(way) = way {
-                        // What can't go out at once is lost, as on any net.
-                        let _ = self.socket.inner().send_to(&bytes, way);
-                    }
-                }
-                Output::MemberChanged(c) => {
-                    match c.state {
-                        MemberState::Alive | MemberState::Left => {
-                            tracing::info!(member = c.name, state = ?c.state, by = c.by, restarted = c.restarted, "member");
-                        }
-                        MemberState::Suspect | MemberState::Gone => {
-                            tracing::warn!(member = c.name, state = ?c.state, by = c.by, "member");
-                        }
-                    }
-                    self.turned += 1;
-                    if self.turns.len() == TURNS {
-                        self.turns.pop_front();
-                    }
-                    self.turns.push_back((clock::now(), c));
-                }
+                } => self.send_datagram(&name, &address, &bytes),
+                Output::MemberChanged(change) => self.member_changed(change),
                 Output::LocalHealthChanged(LocalHealth::Replaced) => {
                     tracing::error!(
-                        "another process has this front's name among its peers; it is silent from now on"
+                        reason = "another process has this front's name among its peers",
+                        "membership silenced"
                     );
                 }
-                Output::LocalHealthChanged(standing) => tracing::info!(?standing, "own standing"),
+                Output::LocalHealthChanged(local_health) => {
+                    tracing::info!(?local_health, "local health changed");
+                }
             }
         }
-        let counted = self.peers.estimated_fleet_size() + 1;
-        if counted != self.counted {
-            self.counted = counted;
-            (self.known)(counted);
+        self.outputs = outputs; // Its memory is reused.
+        self.report_fleet_size();
+    }
+
+    fn send_datagram(&self, name: &str, stated_address: &str, bytes: &[u8]) {
+        let route = self.routes.get(name).copied();
+        if let Some(address) = route.or_else(|| stated_address.parse().ok()) {
+            // What can't be sent at once is lost, as on any network.
+            let _ = self.socket.inner().send_to(bytes, address);
+        }
+    }
+
+    fn member_changed(&mut self, change: MemberChange) {
+        let state = change.state;
+        match state {
+            MemberState::Alive | MemberState::Left => tracing::info!(
+                member = change.name,
+                ?state,
+                by = change.by,
+                restarted = change.restarted,
+                "member state changed"
+            ),
+            MemberState::Suspect | MemberState::Gone => tracing::warn!(
+                member = change.name,
+                ?state,
+                by = change.by,
+                "member state changed"
+            ),
+        }
+        self.history.record(clock::now(), change);
+    }
+
+    fn report_fleet_size(&mut self) {
+        let fleet_size = self.membership.estimated_fleet_size() + 1;
+        if fleet_size != self.reported_fleet_size {
+            self.reported_fleet_size = fleet_size;
+            (self.on_fleet_size)(fleet_size);
         }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/membership_status.rs
@@ -0,0 +1,102 @@
+//! The reply to `GET /members`: this front's view of its peers.
+use crankpaddle_api::describe::{Members, OwnStanding, Peer, PeerState, PeerTurn};
+use crankpaddle_membership::{LocalHealth, Member, MemberChange, MemberState, Membership};
+use std::collections::VecDeque;
+
+const MICROSECOND: u64 = 1000;
+const MILLISECOND: u64 = 1_000_000;
+/// Changes that are reported at most.
+const MOST_CHANGES: usize = 256;
+
+struct RecordedChange {
+    /// Clock time, nanoseconds.
+    at: u64,
+    change: MemberChange,
+}
+
+/// The latest changes of members, numbered from 1.
+#[derive(Default)]
+pub(crate) struct ChangeHistory {
+    changes: VecDeque<RecordedChange>,
+    /// Changes so far, those included that were dropped.
+    total: u64,
+}
+
+impl ChangeHistory {
+    pub(crate) fn record(&mut self, now: u64, change: MemberChange) {
+        self.total += 1;
+        if self.changes.len() == MOST_CHANGES {
+            self.changes.pop_front();
+        }
+        self.changes.push_back(RecordedChange { at: now, change });
+    }
+
+    fn describe(&self, now: u64) -> Vec<PeerTurn> {
+        let first = self.total + 1 - self.changes.len() as u64;
+        let numbered = self.changes.iter().zip(first..);
+        let described = numbered.map(|(RecordedChange { at, change }, number)| PeerTurn {
+            number,
+            ago_ms: now.saturating_sub(*at) / MILLISECOND,
+            name: change.name.clone(),
+            state: peer_state(change.state),
+            by: change.by.clone(),
+            restarted: change.restarted,
+        });
+        described.collect()
+    }
+}
+
+/// The reply, at this clock time in nanoseconds.
+pub(crate) fn describe_members(
+    now: u64,
+    membership: &Membership,
+    history: &ChangeHistory,
+) -> Members {
+    let counters = membership.counters();
+    let members = membership.members().into_iter();
+    let named = counters.named().into_iter();
+    Members {
+        name: membership.name().to_owned(),
+        address: membership.address().to_owned(),
+        // The fields are named as in the JSON of `GET /members`.
+        standing: local_health_status(membership.local_health()),
+        members: members.map(|member| describe_member(now, member)).collect(),
+        sent: counters.sent.0,
+        heard: counters.heard,
+        dropped: counters.dropped(),
+        counted: named
+            .map(|(name, count)| (name.to_owned(), count))
+            .collect(),
+        turns: history.describe(now),
+    }
+}
+
+fn describe_member(now: u64, member: Member) -> Peer {
+    Peer {
+        name: member.name,
+        address: member.address,
+        state: peer_state(member.state),
+        since_ms: now.saturating_sub(member.since) / MILLISECOND,
+        by: member.by,
+        rtt_us: member.rtt.map(|rtt| rtt / MICROSECOND),
+    }
+}
+
+fn local_health_status(health: LocalHealth) -> OwnStanding {
+    match health {
+        LocalHealth::Alone => OwnStanding::Alone,
+        LocalHealth::Connected => OwnStanding::Connected,
+        LocalHealth::Degraded => OwnStanding::Doubtful,
+        LocalHealth::Isolated => OwnStanding::CutOff,
+        LocalHealth::Replaced => OwnStanding::Replaced,
+    }
+}
+
+fn peer_state(state: MemberState) -> PeerState {
+    match state {
+        MemberState::Alive => PeerState::Alive,
+        MemberState::Suspect => PeerState::Suspect,
+        MemberState::Gone => PeerState::Gone,
+        MemberState::Left => PeerState::Left,
+    }
+}
--- a/crates/daemon/src/player.rs
+++ b/crates/daemon/src/player.rs
@@ -1,122 +1,159 @@
-//! A player's connection as the hub and the coroutine that reads it see it: what waits for an answer, and what is sent.
+//! A player's connection, shared by the event loop and the coroutine that reads it: pending calls, and what
+//! is sent.
 use crankpaddle_front::{PlayerId, RequestId};
-use crankpaddle_net::{clock, WriteBuffer};
+use crankpaddle_net::{clock, Socket, WriteBuffer};
 use crankpaddle_session_api::calls::Calls;
 use crankpaddle_session_api::jsonrpc::Id;
 use crankpaddle_session_api::Version;
 use serde_json::Value;
-use std::sync::atomic::AtomicU64;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tungstenite::protocol::frame::coding::{CloseCode, Data, OpCode};
 use tungstenite::protocol::frame::Frame;
 use tungstenite::protocol::CloseFrame;
 
-/// After a close, the peer gets so long to close too.
-pub(crate) const LINGER: u64 = 1_000_000_000;
+#[cfg(test)]
+mod tests;
+
+/// After a close, the peer gets this long to close too, nanoseconds.
+pub(crate) const CLOSE_TIMEOUT: u64 = 1_000_000_000;
+/// The value of `pinged_at` without a ping since the last message.
+const NOT_PINGED: u64 = 0;
+
+/// The number of the next player; numbers are unique in the process.
+static NEXT_PLAYER_ID: AtomicU64 = AtomicU64::new(1);
 
-/// A player's connection as the hub sees it.
+/// A player's connection.
+///
+/// The two times are read by the idle check and written by the coroutine that reads the connection. They
+/// order nothing, so `Relaxed` is enough: a check that sees an old time pings once more than needed.
 pub(crate) struct Player {
     pub id: PlayerId,
     pub version: Version,
+    /// Bytes to send, from the event loop and from the connection's own coroutine.
     pub outbox: WriteBuffer,
-    pub calls: Mutex<Calls>,
-    pub heard: AtomicU64,
-    pub pinged: AtomicU64, // When, if it said nothing since; else 0.
+    calls: Mutex<Calls>,
+    last_received: AtomicU64,
+    pinged_at: AtomicU64,
 }
 
 impl Player {
-    /// Answers a call; a call that is not waited for is ignored. `session`: what the answer makes known.
+    /// A player that has just connected. `most_unread`: bytes that may wait to be sent.
+    pub(crate) fn new(socket: Arc<Socket>, version: Version, most_unread: usize) -> Player {
+        Player {
+            id: PlayerId(NEXT_PLAYER_ID.fetch_add(1, Ordering::Relaxed)),
+            version,
+            outbox: WriteBuffer::new(socket, most_unread),
+            calls: Mutex::default(),
+            last_received: AtomicU64::new(clock::now()),
+            pinged_at: AtomicU64::new(NOT_PINGED),
+        }
+    }
+
+    /// Answers a call; a call that is not pending is ignored. `session`: the session that the answer makes
+    /// known.
     pub(crate) fn answer(
         &self,
         number: u64,
         session: Option<RequestId>,
-        with: impl FnOnce(&Id) -> Value,
+        body: impl FnOnce(&Id) -> Value,
     ) {
-        // Danger: what a lock orders must also be sent under it, or a notice passes the answer that it follows. The
-        // sends only queue bytes and never wait.
+        // Why it is sent under the lock: the lock orders notifications after the answer that they follow, so
+        // the order of sending must be the same. Sending only queues bytes and never waits.
         let mut calls = self.calls();
-        calls
-            .answer(number, session.map(|s| s.0), with)
-            .iter()
-            .for_each(|value| self.tell(value));
+        for value in calls.answer(number, session.map(|session| session.0), body) {
+            self.send(&value);
+        }
     }
 
-    /// Tells of a session, behind the answer that makes it known.
-    pub(crate) fn notify(&self, session: RequestId, notice: Value) {
+    /// Notifies of a session, after the answer that makes it known.
+    pub(crate) fn notify(&self, session: RequestId, notification: Value) {
         let mut calls = self.calls();
-        calls
-            .notice(session.0, notice)
-            .iter()
-            .for_each(|value| self.tell(value));
+        if let Some(value) = calls.notice(session.0, notification) {
+            self.send(&value);
+        }
     }
 
+    /// The pending calls. The lock must not be held over a wait.
     pub(crate) fn calls(&self) -> MutexGuard<'_, Calls> {
         self.calls.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(crate) fn tell(&self, value: &Value) {
-        self.push(Frame::message(
-            value.to_string(),
-            OpCode::Data(Data::Text),
-            true,
-        ));
+    /// Queues a JSON text.
+    pub(crate) fn send(&self, value: &Value) {
+        let text = OpCode::Data(Data::Text);
+        self.send_frame(Frame::message(value.to_string(), text, true));
     }
 
-    /// Says that the front goes away.
+    /// Closes the connection because the front stops.
     pub(crate) fn close(&self) {
         let reason = CloseFrame {
             code: CloseCode::Away,
             reason: "the front stops".into(),
         };
-        self.push(Frame::close(Some(reason)));
-        self.outbox.socket().set_expiry(clock::now() + LINGER / 2);
+        self.send_frame(Frame::close(Some(reason)));
+        self.outbox
+            .socket()
+            .set_expiry(clock::now() + CLOSE_TIMEOUT / 2);
     }
 
-    pub(crate) fn push(&self, frame: Frame) {
+    /// Queues a WebSocket frame.
+    pub(crate) fn send_frame(&self, frame: Frame) {
         let mut bytes = Vec::with_capacity(frame.len());
         if frame.format(&mut bytes).is_ok() {
             self.outbox.push(&bytes);
         }
     }
+
+    /// Bytes were received: the player is alive.
+    pub(crate) fn received(&self) {
+        self.last_received.store(clock::now(), Ordering::Relaxed);
+        self.pinged_at.store(NOT_PINGED, Ordering::Relaxed);
+    }
+
+    /// Pings a player that has been silent for `idle_timeout` nanoseconds, and closes one that did not
+    /// answer.
+    pub(crate) fn enforce_idle_timeout(&self, now: u64, idle_timeout: u64) {
+        let last_received = self.last_received.load(Ordering::Relaxed);
+        let pinged_at = self.pinged_at.load(Ordering::Relaxed);
+        match idle_action(now, last_received, pinged_at, idle_timeout) {
+            IdleAction::Wait => {}
+            IdleAction::Ping => {
+                self.pinged_at.store(now, Ordering::Relaxed);
+                self.send_frame(Frame::ping(Vec::new()));
+            }
+            IdleAction::Close => self.outbox.socket().close(),
+        }
+    }
 }
 
 /// What a player's silence calls for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Silence {
-    /// Nothing yet.
-    Bear,
-    /// To be asked whether it is there.
+enum IdleAction {
+    /// It has not been silent for long, or was pinged and still has time to answer.
+    Wait,
+    /// It has been silent for too long.
     Ping,
-    /// It was asked and did not answer.
-    Cut,
+    /// It did not answer a ping.
+    Close,
 }
 
-/// Judges a silence: last `heard` then, `pinged` then or never since (0), `idle` is what is borne each time.
+/// What a player's silence calls for. Times are in nanoseconds; `pinged_at` is [`NOT_PINGED`] or the time of
+/// the ping.
 ///
-/// Danger: judged by its silence alone, every player is cut unasked when this process had stood still, and all of them
-/// come back at once.
-pub(crate) fn silence(now: u64, heard: u64, pinged: u64, idle: u64) -> Silence {
-    match (pinged, now.saturating_sub(heard) > idle) {
-        (0, true) => Silence::Ping,
-        (0, false) => Silence::Bear,
-        (pinged, _) if now.saturating_sub(pinged) > idle => Silence::Cut,
-        _ => Silence::Bear,
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_player_is_asked_before_it_is_cut_also_after_a_standstill() {
-        let idle = 30;
-        assert_eq!(silence(130, 100, 0, idle), Silence::Bear);
-        assert_eq!(silence(131, 100, 0, idle), Silence::Ping);
-        assert_eq!(silence(161, 100, 131, idle), Silence::Bear);
-        assert_eq!(silence(162, 100, 131, idle), Silence::Cut);
-        // Nobody looked for a thousand times the bound: it is asked all the same, and has its time to answer.
-        assert_eq!(silence(30_000, 100, 0, idle), Silence::Ping);
-        assert_eq!(silence(30_030, 100, 30_000, idle), Silence::Bear);
+/// Why a ping always comes first: if silence alone counted, every player would be closed when this process
+/// had stalled, and all of them would reconnect at once.
+fn idle_action(now: u64, last_received: u64, pinged_at: u64, idle_timeout: u64) -> IdleAction {
+    let is_older = |time: u64| now.saturating_sub(time) > idle_timeout;
+    if pinged_at == NOT_PINGED {
+        if is_older(last_received) {
+            IdleAction::Ping
+        } else {
+            IdleAction::Wait
+        }
+    } else if is_older(pinged_at) {
+        IdleAction::Close
+    } else {
+        IdleAction::Wait
     }
 }
--- a/crates/daemon/src/recovered_state.rs
+++ b/crates/daemon/src/recovered_state.rs
@@ -1,83 +1,110 @@
-//! What this front starts from: its name at servers, and what its store holds.
+//! What this front starts from: its name at servers, and the state that its store holds.
 use crate::errors::StartError;
 use crate::key_file;
-use crankpaddle_config::Store as Wanted;
+use crankpaddle_config::Store as StoreConfig;
 use crankpaddle_recovery::{ConservativeBound, PreviousShutdown, RecoveredState, StillValid};
 use crankpaddle_server_protocol::sessions;
 use crankpaddle_store::{Error, OpenedStore, Store};
 
-/// A front's past, and where it keeps on.
-pub(crate) struct Kept {
-    /// Its name at servers, the same in all its lives.
-    pub name: String,
-    /// `None`: the disk fails, and nothing can be kept.
+/// An opened store, and what it held.
+pub(crate) struct OpenedState {
+    /// The front's name at servers, the same in all its incarnations.
+    pub front_name: String,
+    /// `None`: the disk fails, and nothing can be written.
     pub store: Option<Store>,
-    pub past: RecoveredState,
+    pub recovered: RecoveredState,
 }
 
-/// A past of which nothing is known.
-fn unknown() -> RecoveredState {
-    RecoveredState {
-        epoch: StillValid(0),
-        intents: StillValid(Vec::new()),
-        fleet_size: ConservativeBound::default(),
-        shutdown: PreviousShutdown::Unknown,
-        uptime_ms: StillValid(0),
-    }
-}
-
-/// Opens the store. Danger: a front that would not start because its disk fails serves nobody; one that starts without its past and
-/// sells what it sold before breaks a rule. So it starts, asks servers what ran, and sets up nothing that is paid.
+/// Opens the store.
+///
+/// Why a failing disk is no error: a front that does not start serves nobody, and one that starts without its
+/// state and sells again what it sold breaks a rule. So it starts, requests inventories from servers, and
+/// rejects paid set-ups.
 ///
 /// # Errors
 /// The key can't be read, or the folder is another process's or a later release's.
-pub(crate) fn open(wanted: &Wanted) -> Result<Kept, StartError> {
-    open_on(wanted, |boot| Store::open(&wanted.dir, boot))
+pub(crate) fn open(config: &StoreConfig) -> Result<OpenedState, StartError> {
+    open_with(config, |boot_id| Store::open(&config.dir, boot_id))
 }
 
-/// The same, on what `store` makes of the host's boot.
-pub(crate) fn open_on(
-    wanted: &Wanted,
-    store: impl FnOnce(&str) -> Result<OpenedStore, Error>,
-) -> Result<Kept, StartError> {
-    let key = key_file::key(&wanted.key_file)?;
-    let name = sessions::front_name(&key, &wanted.name);
-    let boot = std::fs::read_to_string(&wanted.boot_file).unwrap_or_else(|e| {
-        tracing::warn!(path = %wanted.boot_file.display(), %e, "the boot can't be told; each start counts as after a power loss");
-        format!("unknown {:032x}", rand::random::<u128>())
-    });
-    match store(boot.trim()) {
-        Ok(OpenedStore {
-            store,
-            recovered: past,
-            quarantined: set_aside,
-        }) => {
-            if let Some((path, why)) = set_aside {
-                let help = advice(&why);
-                tracing::error!(path = %path.display(), %why, help, "the store was no store any more; a new one is begun");
-            }
-            let (epoch, entries) = (past.epoch.0, past.intents.0.len());
-            tracing::info!(name = wanted.name, epoch, entries, former_life = ?past.shutdown, "store");
-            Ok(Kept {
-                name,
-                store: Some(store),
-                past,
-            })
-        }
-        Err(e @ Error::Disk { .. }) => {
-            tracing::error!(%e, help = advice(&e), "the store can't be used; nothing that is paid is set up");
-            Ok(Kept {
-                name,
+/// The same, with `open_store` in place of [`Store::open`]; it is given the identity of the host's boot.
+pub(crate) fn open_with(
+    config: &StoreConfig,
+    open_store: impl FnOnce(&str) -> Result<OpenedStore, Error>,
+) -> Result<OpenedState, StartError> {
+    let key = key_file::read_key(&config.key_file)?;
+    let front_name = sessions::front_name(&key, &config.name);
+    let boot_id = read_boot_id(config);
+    let opened = match open_store(boot_id.trim()) {
+        Ok(opened) => opened,
+        Err(error @ Error::Disk { .. }) => {
+            tracing::error!(
+                reason = %error,
+                help = help_text(&error),
+                "store unavailable, paid set-ups are rejected"
+            );
+            return Ok(OpenedState {
+                front_name,
                 store: None,
-                past: unknown(),
-            })
+                recovered: unknown_state(),
+            });
+        }
+        Err(error) => return Err(error.into()),
+    };
+    log_opened(config, &opened);
+    Ok(OpenedState {
+        front_name,
+        store: Some(opened.store),
+        recovered: opened.recovered,
+    })
+}
+
+/// The identity of the host's boot; one that is never used again where it can't be read.
+fn read_boot_id(config: &StoreConfig) -> String {
+    match std::fs::read_to_string(&config.boot_file) {
+        Ok(boot_id) => boot_id,
+        Err(error) => {
+            tracing::warn!(
+                path = %config.boot_file.display(),
+                reason = %error,
+                "boot identity unreadable, this start counts as after a power loss"
+            );
+            format!("unknown {:032x}", rand::random::<u128>())
         }
-        Err(e) => Err(e.into()),
     }
 }
 
-fn advice(e: &Error) -> String {
-    miette::Diagnostic::help(e)
+fn log_opened(config: &StoreConfig, opened: &OpenedStore) {
+    if let Some((path, reason)) = &opened.quarantined {
+        tracing::error!(
+            path = %path.display(),
+            %reason,
+            help = help_text(reason),
+            "store quarantined, a new one is created"
+        );
+    }
+    tracing::info!(
+        name = config.name,
+        epoch = opened.recovered.epoch.0,
+        entries = opened.recovered.intents.0.len(),
+        previous_shutdown = ?opened.recovered.shutdown,
+        "store opened"
+    );
+}
+
+/// The state where nothing is known of previous incarnations.
+fn unknown_state() -> RecoveredState {
+    RecoveredState {
+        epoch: StillValid(0),
+        intents: StillValid(Vec::new()),
+        fleet_size: ConservativeBound::default(),
+        shutdown: PreviousShutdown::Unknown,
+        uptime_ms: StillValid(0),
+    }
+}
+
+fn help_text(error: &Error) -> String {
+    miette::Diagnostic::help(error)
         .map(|help| help.to_string())
         .unwrap_or_default()
 }
--- a/crates/daemon/src/server_connection_state.rs
+++ b/crates/daemon/src/server_connection_state.rs
@@ -1,199 +1,173 @@
-//! What a server's stream says of the sessions there: by its words, its breaks and its silence. Pure.
+//! The established sessions at one server, and whether the server can be reached. Pure.
 //!
-//! A session is lost when its server says that it does not hold it, lives another life, or can't be reached. Danger:
-//! a lost session that is not seen holds its seat and its part of the link for ever, and its viewer is told nothing.
-//! Harm: a server cut off from this front alone loses sessions here that still stream there; they are torn down when
-//! it is reached again.
+//! A session is lost when its server does not list it, has another incarnation, or can't be reached. Why all
+//! three: a lost session that goes unnoticed occupies its capacity for ever, and its viewer is never
+//! notified. The cost: a server cut off from this front alone loses sessions here that still stream there;
+//! they are torn down when it is reached again.
 use crankpaddle_front::AttemptId;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+
+#[cfg(test)]
+mod tests;
 
 const MILLISECOND: u64 = 1_000_000;
-/// First and longest pause between calls.
-const PAUSE: (u64, u64) = (50 * MILLISECOND, 1000 * MILLISECOND);
+/// Backoff after the first failed call, nanoseconds.
+const FIRST_BACKOFF: u64 = 50 * MILLISECOND;
+/// Longest backoff, nanoseconds.
+const LONGEST_BACKOFF: u64 = 1000 * MILLISECOND;
+/// Doublings of the backoff that are computed at most: beyond them it is the longest in any case.
+const MOST_DOUBLINGS: u32 = 10;
+
+#[derive(Debug)]
+struct EstablishedSession {
+    /// Its name at the server.
+    name: String,
+    /// Clock time, nanoseconds.
+    established_at: u64,
+}
 
-/// The sessions that play at one server.
+/// What is known of one server: its incarnation, and the sessions that are established there.
 #[derive(Debug, Default)]
-pub(crate) struct Contact {
-    boot: Option<String>,
-    playing: BTreeMap<AttemptId, (String, u64)>, // Its name, and since when.
+pub(crate) struct ServerConnectionState {
+    incarnation: Option<String>,
+    sessions: BTreeMap<AttemptId, EstablishedSession>,
 }
 
-impl Contact {
-    pub(crate) fn started(&mut self, attempt: AttemptId, name: String, now: u64) {
-        self.playing.insert(attempt, (name, now));
+impl ServerConnectionState {
+    pub(crate) fn session_started(&mut self, attempt: AttemptId, name: String, now: u64) {
+        let session = EstablishedSession {
+            name,
+            established_at: now,
+        };
+        self.sessions.insert(attempt, session);
     }
 
-    pub(crate) fn ended(&mut self, attempt: AttemptId) {
-        self.playing.remove(&attempt);
+    pub(crate) fn session_ended(&mut self, attempt: AttemptId) {
+        self.sessions.remove(&attempt);
     }
 
-    pub(crate) fn plays(&self, attempt: AttemptId) -> bool {
-        self.playing.contains_key(&attempt)
+    pub(crate) fn has_session(&self, attempt: AttemptId) -> bool {
+        self.sessions.contains_key(&attempt)
     }
 
-    /// The life of the server that is known, if one is.
-    pub(crate) fn boot(&self) -> Option<&str> {
-        self.boot.as_deref()
+    /// The server's incarnation, where one is known.
+    pub(crate) fn incarnation(&self) -> Option<&str> {
+        self.incarnation.as_deref()
     }
 
-    /// The server told its life before its stream did.
-    pub(crate) fn lives(&mut self, boot: &str) {
-        self.boot.get_or_insert_with(|| boot.to_owned());
+    /// The server's inventory gave its incarnation, which counts until its event stream gives one.
+    pub(crate) fn incarnation_reported(&mut self, incarnation: &str) {
+        self.incarnation
+            .get_or_insert_with(|| incarnation.to_owned());
     }
 
-    /// Whether a stream's first word tells of another life than the one that was known.
-    pub(crate) fn is_other_life(&self, boot: &str) -> bool {
-        self.boot.as_deref().is_some_and(|b| b != boot)
+    /// Whether this is another incarnation than the known one.
+    pub(crate) fn is_other_incarnation(&self, incarnation: &str) -> bool {
+        self.incarnation().is_some_and(|known| known != incarnation)
     }
 
-    /// The stream's first word, to a call that began at `begun`: which sessions are lost. One that came to play while
-    /// the call was under way may be missing in the word and is not.
-    pub(crate) fn hello(&mut self, boot: &str, held: &[String], begun: u64) -> Vec<AttemptId> {
-        let other_life = self.is_other_life(boot);
-        self.boot = Some(boot.to_owned());
-        let held: std::collections::BTreeSet<&str> = held.iter().map(String::as_str).collect();
-        let lost = |(name, since): &(String, u64)| {
-            *since < begun && (other_life || !held.contains(name.as_str()))
-        };
-        self.playing
-            .iter()
-            .filter(|(_, session)| lost(session))
-            .map(|(attempt, _)| *attempt)
-            .collect()
+    /// The server's event stream began with the sessions that it holds, in response to a call made at
+    /// `called_at`. Returns the sessions that are lost. One that was established during the call may be
+    /// missing there and is not.
+    pub(crate) fn stream_started(
+        &mut self,
+        incarnation: &str,
+        session_names: &[String],
+        called_at: u64,
+    ) -> Vec<AttemptId> {
+        let is_other = self.is_other_incarnation(incarnation);
+        self.incarnation = Some(incarnation.to_owned());
+        let listed: BTreeSet<&str> = session_names.iter().map(String::as_str).collect();
+        self.established_before(called_at, |session| {
+            is_other || !listed.contains(session.name.as_str())
+        })
+    }
+
+    /// The sessions that were established before a call made at `called_at`; all are lost where the call
+    /// showed that the server can't be reached.
+    pub(crate) fn sessions_before(&self, called_at: u64) -> Vec<AttemptId> {
+        self.established_before(called_at, |_| true)
     }
 
-    /// The server can't be reached since a call that began at `begun`: which sessions are lost.
-    pub(crate) fn lost(&self, begun: u64) -> Vec<AttemptId> {
-        self.playing
-            .iter()
-            .filter(|(_, (_, since))| *since < begun)
+    fn established_before(
+        &self,
+        called_at: u64,
+        is_wanted: impl Fn(&EstablishedSession) -> bool,
+    ) -> Vec<AttemptId> {
+        let sessions = self.sessions.iter();
+        sessions
+            .filter(|(_, session)| session.established_at < called_at && is_wanted(session))
             .map(|(attempt, _)| *attempt)
             .collect()
     }
 }
 
-/// How a call failed.
+/// How a call for a server's event stream failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Miss {
-    /// Refused or reset: no process is there.
+pub(crate) enum CallFailure {
+    /// Refused or reset: no process listens there.
     Refused,
-    /// No answer: it may be there and slow, or cut off.
-    Silent,
-    /// It spoke, and the stream broke later.
-    Broke,
+    /// No response: the server may be slow or cut off.
+    NoResponse,
+    /// The stream began and ended later.
+    StreamClosed,
 }
 
-/// Follows whether a server can be reached.
+/// What follows from a failed call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct FailureVerdict {
+    /// The server counts as lost.
+    pub is_lost: bool,
+    /// Backoff before the next call, nanoseconds.
+    pub backoff: u64,
+}
+
+/// Tracks whether a server can be reached, over consecutive calls.
 #[derive(Debug)]
-pub(crate) struct Reach {
-    heard: u64,
-    silence: u64,
-    misses: u32,
+pub(crate) struct ReachabilityTracker {
+    last_received: u64,
+    silence_timeout: u64,
+    consecutive_failures: u32,
 }
 
-impl Reach {
-    /// `silence`: without a word for so long, a server is lost.
-    pub(crate) fn new(now: u64, silence: u64) -> Reach {
-        Reach {
-            heard: now,
-            silence,
-            misses: 0,
+impl ReachabilityTracker {
+    /// `silence_timeout`: a server that sends nothing for so long is lost, nanoseconds.
+    pub(crate) fn new(now: u64, silence_timeout: u64) -> ReachabilityTracker {
+        ReachabilityTracker {
+            last_received: now,
+            silence_timeout,
+            consecutive_failures: 0,
         }
     }
 
-    pub(crate) fn heard(&mut self, now: u64) {
-        (self.heard, self.misses) = (now, 0);
+    /// The server's event stream began.
+    pub(crate) fn stream_started(&mut self, now: u64) {
+        self.last_received = now;
+        self.consecutive_failures = 0;
     }
 
-    /// A call failed: whether the server counts as lost, and how long to wait for the next call.
-    pub(crate) fn missed(&mut self, now: u64, miss: Miss) -> (bool, u64) {
-        let lost = match miss {
-            Miss::Refused => true,
-            Miss::Silent => now.saturating_sub(self.heard) >= self.silence,
-            Miss::Broke => false,
-        };
-        // The first call after a break goes out at once: most breaks are the connection's, not the server's.
-        let wait = if miss == Miss::Broke && self.misses == 0 {
-            0
-        } else {
-            PAUSE
-                .0
-                .saturating_mul(1 << self.misses.min(10))
-                .min(PAUSE.1)
+    /// A call failed.
+    pub(crate) fn call_failed(&mut self, now: u64, failure: CallFailure) -> FailureVerdict {
+        let is_lost = match failure {
+            CallFailure::Refused => true,
+            CallFailure::NoResponse => {
+                now.saturating_sub(self.last_received) >= self.silence_timeout
+            }
+            CallFailure::StreamClosed => false,
         };
-        self.misses += 1;
-        (lost, wait)
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    const SECOND: u64 = 1000 * MILLISECOND;
-
-    fn contact() -> Contact {
-        let mut contact = Contact::default();
-        assert!(contact.hello("one", &[], 0).is_empty());
-        contact.started(AttemptId(1), "a".into(), 10);
-        contact.started(AttemptId(2), "b".into(), 20);
-        contact
-    }
-
-    #[test]
-    fn sessions_that_a_server_does_not_hold_are_lost() {
-        let mut contact = contact();
-        assert_eq!(contact.hello("one", &["b".into()], 30), [AttemptId(1)]);
-        assert!(contact
-            .hello("one", &["a".into(), "b".into()], 30)
-            .is_empty());
-    }
-
-    #[test]
-    fn another_life_is_told_from_the_first_and_the_same() {
-        let mut contact = Contact::default();
-        assert!(!contact.is_other_life("one"), "nothing was known");
-        contact.hello("one", &[], 0);
-        assert!(!contact.is_other_life("one") && contact.is_other_life("two"));
+        let backoff = self.backoff(failure);
+        self.consecutive_failures += 1;
+        FailureVerdict { is_lost, backoff }
     }
 
-    #[test]
-    fn another_life_of_a_server_holds_none_of_the_old_ones() {
-        let mut contact = contact();
-        assert_eq!(
-            contact.hello("two", &["a".into(), "b".into()], 30),
-            [AttemptId(1), AttemptId(2)]
-        );
-    }
-
-    #[test]
-    fn sessions_younger_than_the_call_are_not_judged_by_it() {
-        let mut contact = contact();
-        assert_eq!(contact.hello("one", &[], 15), [AttemptId(1)]);
-        assert_eq!(contact.lost(15), [AttemptId(1)]);
-        contact.ended(AttemptId(1));
-        assert!(contact.lost(15).is_empty());
-        assert!(
-            contact.lost(99).len() == 1
-                && contact.plays(AttemptId(2))
-                && !contact.plays(AttemptId(1))
-        );
-    }
-
-    #[test]
-    fn refused_is_lost_at_once_and_silence_only_after_its_time() {
-        let mut reach = Reach::new(0, 3 * SECOND);
-        assert_eq!(reach.missed(SECOND, Miss::Broke), (false, 0));
-        assert!(reach.missed(SECOND, Miss::Refused).0);
-        reach.heard(2 * SECOND);
-        assert!(!reach.missed(4 * SECOND, Miss::Silent).0);
-        assert!(reach.missed(5 * SECOND, Miss::Silent).0);
-    }
-
-    #[test]
-    fn calls_slow_down_to_a_bound() {
-        let mut reach = Reach::new(0, SECOND);
-        let waits: Vec<u64> = (0..40).map(|_| reach.missed(0, Miss::Silent).1).collect();
-        assert_eq!(waits[0], PAUSE.0);
-        assert!(waits.windows(2).all(|w| w[0] <= w[1]) && waits[39] == PAUSE.1);
+    /// The first call after a stream ended goes out at once: mostly the connection broke, not the server.
+    fn backoff(&self, failure: CallFailure) -> u64 {
+        if failure == CallFailure::StreamClosed && self.consecutive_failures == 0 {
+            return 0;
+        }
+        let doublings = self.consecutive_failures.min(MOST_DOUBLINGS);
+        FIRST_BACKOFF
+            .saturating_mul(1 << doublings)
+            .min(LONGEST_BACKOFF)
     }
 }
--- /dev/null
+++ b/crates/daemon/src/server_link/controls.rs
@@ -0,0 +1,114 @@
+//! Rung changes and teardowns of sessions at one server.
+use crate::message::ServerMessage;
+use crate::shared::Shared;
+use crankpaddle_front::ServerId;
+use crankpaddle_net::exchange::HttpExchange;
+use crankpaddle_net::{clock, sleep, Socket};
+use crankpaddle_server_protocol::sessions;
+use may::sync::mpsc::Receiver;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A control is given up after this time, nanoseconds: the server hangs, which its event stream shows.
+const CONTROL_TIMEOUT: u64 = 2_000_000_000;
+/// Backoff after connection attempts that timed out.
+const CONNECT_BACKOFF: [Duration; 5] = [
+    Duration::from_millis(100),
+    Duration::from_millis(200),
+    Duration::from_millis(400),
+    Duration::from_millis(800),
+    Duration::from_millis(1600),
+];
+/// Bytes of a response's body at most.
+const MOST_RESPONSE: u64 = 64 * 1024;
+
+/// The server that controls go to.
+pub(super) struct Target {
+    pub(super) server: ServerId,
+    pub(super) address: SocketAddr,
+}
+
+/// What is changed at a server.
+pub(super) enum Control {
+    SetRung { session_name: String, rung: u8 },
+    TearDown { session_name: String },
+}
+
+impl Control {
+    fn request(&self, host: &str) -> Vec<u8> {
+        match self {
+            Control::SetRung { session_name, rung } => {
+                sessions::set_rung(host, session_name, *rung)
+            }
+            Control::TearDown { session_name } => sessions::tear_down(host, session_name),
+        }
+    }
+}
+
+/// Sends controls until the link is dropped. One coroutine sends them all, because rung changes of one
+/// session must arrive in their order.
+pub(super) fn send_all(shared: &Shared, target: &Target, queue: &Receiver<Control>) {
+    let mut idle_connection: Option<Arc<Socket>> = None;
+    while let Ok(control) = queue.recv() {
+        idle_connection = match idle_connection.take() {
+            Some(socket) if socket.is_idle() => send(shared, socket, target, &control),
+            _ => None,
+        };
+        if idle_connection.is_none() {
+            idle_connection = connect_and_send(shared, target, &control);
+        }
+        shared.control_completed();
+    }
+}
+
+fn connect_and_send(shared: &Shared, target: &Target, control: &Control) -> Option<Arc<Socket>> {
+    let socket = Arc::new(connect(shared, &target.address)?);
+    shared.server_sweeper.watch(&socket);
+    send(shared, socket, target, control)
+}
+
+/// Connects for a control, again after a timeout.
+///
+/// Why: a teardown that is dropped because a busy host took too long to connect leaves a session streaming to
+/// nobody for as long as the server runs. The cost: controls behind it wait longer. A port that refuses has
+/// no sessions left.
+fn connect(shared: &Shared, address: &SocketAddr) -> Option<Socket> {
+    for backoff in CONNECT_BACKOFF {
+        match Socket::connect(address, shared.connect_timeout()) {
+            Ok(socket) => return Some(socket),
+            Err(error) if error.kind() == ErrorKind::TimedOut => sleep(backoff),
+            Err(_) => return None,
+        }
+    }
+    None
+}
+
+/// Sends one control over a connection; returns the connection if it can carry another.
+fn send(
+    shared: &Shared,
+    socket: Arc<Socket>,
+    target: &Target,
+    control: &Control,
+) -> Option<Arc<Socket>> {
+    let request = control.request(&target.address.to_string());
+    socket.set_expiry(clock::now().saturating_add(CONTROL_TIMEOUT));
+    socket.write_all(&request).ok()?;
+    let mut exchange = HttpExchange::new(socket.clone());
+    let (response, body) = exchange.response(MOST_RESPONSE).ok()?;
+    if let Control::TearDown { session_name } = control {
+        if let Some(ended) = sessions::tear_down_answer(&response, &body) {
+            let message = ServerMessage::TearDownCompleted {
+                session_name: session_name.clone(),
+                sent_bytes: ended.sent_bytes,
+            };
+            shared.send_from_server(target.server, message);
+        }
+    }
+    if !response.keeps_alive() || !exchange.is_clean() {
+        return None;
+    }
+    socket.set_expiry(clock::now().saturating_add(shared.limits().pool_idle));
+    Some(socket)
+}
--- /dev/null
+++ b/crates/daemon/src/server_link/stream.rs
@@ -0,0 +1,134 @@
+//! The subscription to a server's event stream.
+use super::ServerLink;
+use crate::message::ServerMessage;
+use crate::server_connection_state::{CallFailure, ReachabilityTracker};
+use crate::shared::Shared;
+use crankpaddle_net::exchange::{Events, ExchangeError, HttpExchange};
+use crankpaddle_net::{clock, sleep, Socket};
+use crankpaddle_server_protocol::event_stream::{self, ServerEvent};
+use std::io::{self, ErrorKind};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The status of a response that carries an event stream.
+const OK: u16 = 200;
+
+impl ServerLink {
+    /// Calls the server again and again, and passes its events to the event loop, until the link is idle.
+    pub(super) fn follow_stream(&self, shared: &Shared) {
+        let mut reachability = ReachabilityTracker::new(clock::now(), shared.limits().silence);
+        loop {
+            let called_at = clock::now();
+            let failure = match self.call(shared) {
+                Ok(events) => self.read_events(shared, events, called_at, &mut reachability),
+                Err(failure) => failure,
+            };
+            let verdict = reachability.call_failed(clock::now(), failure);
+            if verdict.is_lost {
+                shared.send_from_server(self.id, ServerMessage::Unreachable { called_at });
+            }
+            if self.unsubscribe_if_idle() {
+                return;
+            }
+            if verdict.backoff > 0 {
+                sleep(Duration::from_nanos(verdict.backoff));
+            }
+        }
+    }
+
+    fn call(&self, shared: &Shared) -> Result<Events, CallFailure> {
+        let socket = Socket::connect(&self.address, shared.connect_timeout());
+        let socket = Arc::new(socket.map_err(|error| connect_failure(&error))?);
+        let silence_timeout = shared.limits().silence;
+        socket.set_expiry(clock::now().saturating_add(silence_timeout));
+        shared.server_sweeper.watch(&socket);
+        self.set_stream_socket(&socket);
+        let request = event_stream::subscribe(&self.address.to_string(), shared.names.front());
+        let sent = socket.write_all(&request);
+        sent.map_err(|_| CallFailure::NoResponse)?;
+        let mut exchange = HttpExchange::new(socket);
+        let head = exchange.response_head();
+        let head = head.map_err(|_| CallFailure::NoResponse)?;
+        if head.status != OK {
+            return Err(CallFailure::NoResponse);
+        }
+        let events = exchange.events(&head, silence_timeout);
+        events.map_err(|_| CallFailure::NoResponse)
+    }
+
+    /// Reads events until the stream ends; returns how it ended.
+    fn read_events(
+        &self,
+        shared: &Shared,
+        mut events: Events,
+        called_at: u64,
+        reachability: &mut ReachabilityTracker,
+    ) -> CallFailure {
+        let mut has_started = false;
+        loop {
+            let event = match events.next() {
+                Ok(event) => event,
+                Err(error) => return self.stream_ended(shared, &error, has_started),
+            };
+            match event_stream::read(&event) {
+                Ok(Some(ServerEvent::Hello(start))) => {
+                    let message = ServerMessage::StreamStarted { start, called_at };
+                    shared.send_from_server(self.id, message);
+                    reachability.stream_started(clock::now());
+                    has_started = true;
+                }
+                Ok(Some(event)) => self.pass_event(shared, event),
+                Ok(None) => {} // A kind that a later release of the server sends.
+                Err(reason) => self.log_malformed(&reason),
+            }
+        }
+    }
+
+    fn pass_event(&self, shared: &Shared, event: ServerEvent) {
+        let message = match event {
+            ServerEvent::Hello(_) => return, // Handled by the caller.
+            ServerEvent::Notes(session_name, updates) => ServerMessage::SessionUpdated {
+                session_name,
+                updates,
+            },
+            ServerEvent::Over(session_name, outcome, sent_bytes) => ServerMessage::SessionEnded {
+                session_name,
+                outcome,
+                sent_bytes,
+            },
+            ServerEvent::Traffic(counts) => ServerMessage::TrafficCounted { counts },
+        };
+        shared.send_from_server(self.id, message);
+    }
+
+    fn stream_ended(
+        &self,
+        shared: &Shared,
+        error: &ExchangeError,
+        has_started: bool,
+    ) -> CallFailure {
+        if let ExchangeError::Bad(reason) = error {
+            self.log_malformed(&reason.to_string());
+        }
+        if !has_started {
+            return CallFailure::NoResponse;
+        }
+        // A connection that this front closed, or that expired, shows nothing of the server.
+        let socket = self.stream_socket();
+        if socket.is_some_and(|socket| !socket.is_closed()) {
+            shared.send_from_server(self.id, ServerMessage::StreamClosed);
+        }
+        CallFailure::StreamClosed
+    }
+
+    fn log_malformed(&self, reason: &str) {
+        tracing::warn!(server_id = self.id.0, reason, "server stream malformed");
+    }
+}
+
+fn connect_failure(error: &io::Error) -> CallFailure {
+    match error.kind() {
+        ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => CallFailure::Refused,
+        _ => CallFailure::NoResponse,
+    }
+}
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -1,127 +1,189 @@
-//! What the coroutines of a front share.
-use crate::connection_pool::Pool;
-use crate::names::Names;
+//! State that the coroutines of a front share: configuration, connections, counters and the event loop's
+//! queue.
+//!
+//! The counters for `GET /health` and for back-pressure are independent figures: no other memory is published
+//! through them, so `Relaxed` is enough. Only the count of queued controls orders anything; see
+//! [`Shared::control_completed`].
+use crate::connection_pool::ConnectionPool;
+use crate::membership_runner::MembershipHandle;
+use crate::message::{Message, ServerMessage};
+use crate::names::AttemptNames;
 use crate::player::Player;
-use crankpaddle_api::describe::Fleet;
 use crankpaddle_config::{Config, Limits};
-use crankpaddle_front::{
-    AttemptId, AttemptOutcome, EndpointListKind, Input, PlayerId, ServerId, SessionUpdate,
-};
+use crankpaddle_front::ServerId;
 use crankpaddle_net::IdleSweeper;
-use crankpaddle_server_protocol::event_stream::{StreamStart, TrafficCounts};
-use crankpaddle_server_protocol::list::EndpointListBody;
-use crankpaddle_server_protocol::session_inventory::SessionInventory;
 use may::sync::mpsc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::time::Duration;
 
-/// What the hub is told.
-pub(crate) enum Msg {
-    /// A player connected.
-    Joined(Arc<Player>),
-    /// A player said something that the core wants to know.
-    Player(Input),
-    /// A player's connection is gone.
-    Gone(PlayerId),
-    /// A server answered, or did not.
-    Server(Input),
-    /// A server's stream said its first word; the call for it began at that time.
-    Hello(ServerId, StreamStart, u64),
-    /// A server's stream told of a session, by its name there.
-    Notes(String, Vec<SessionUpdate>),
-    /// A session is over at its server; with all that was sent for it, where it is counted.
-    Over(String, AttemptOutcome, Option<u64>),
-    /// A server counted sessions and what crosses.
-    Traffic(ServerId, TrafficCounts),
-    /// A server's last word on a session that was torn down: all that it sent.
-    Sent(String, u64),
-    /// The budgets of this configuration hold from now on.
-    Budgets(Box<Config>),
-    /// Someone wants the report of traffic.
-    Report(mpsc::Sender<String>),
-    /// A server's stream was ended by the server: until now it lived.
-    Broke(ServerId),
-    /// A server can't be reached any more; so it was when the call began at that time.
-    Lost(ServerId, u64),
-    /// The list service said this.
-    List(EndpointListKind, EndpointListBody),
-    /// The list service can't be reached.
-    ListFailed,
-    /// A server told what it holds and ran of this front, or can't be asked.
-    Book(ServerId, Option<SessionInventory>),
-    /// An attempt of a former life was ended at a server, so that it can't run any more; or that is not certain.
-    Fenced(ServerId, String, bool),
-    /// It is on disk that an attempt may have left, or can't be written.
-    Stored(AttemptId, bool),
-    /// Someone wants to know what is known of this front's past.
-    Fleet(mpsc::Sender<Option<Fleet>>),
-    /// So many fronts of the fleet are known, this one with them.
-    Members(u32),
-    /// End.
-    Drain,
-}
+/// Connections to servers are swept this often: their deadlines are tenths of seconds.
+const SERVER_SWEEP_INTERVAL: Duration = Duration::from_millis(50);
+/// Connections of players are swept this often: their deadlines are seconds, and there are many.
+const PLAYER_SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
+/// State that the coroutines of a front share.
 pub(crate) struct Shared {
     pub config: Config,
-    /// The other fronts, where there are any.
-    pub peers: Option<crate::membership_runner::Link>,
-    pub names: Names,
-    pub pool: Pool,
-    /// Looks often: attempts and streams.
-    pub quick: IdleSweeper,
-    /// Looks seldom: players.
-    pub slow: IdleSweeper,
-    pub connections: AtomicUsize,
-    pub players: std::sync::Mutex<Vec<std::sync::Weak<Player>>>,
-    /// Inputs of players that the hub has not seen yet.
-    pub queued: AtomicUsize,
-    pub waiting: AtomicUsize,
-    pub playing: AtomicUsize,
-    pub draining: AtomicBool,
-    /// Rung changes and teardowns that are under way.
-    pub controls: AtomicUsize,
-    inbox: mpsc::Sender<Msg>,
+    /// The other fronts, where any are configured.
+    pub membership: Option<MembershipHandle>,
+    pub names: AttemptNames,
+    pub pool: ConnectionPool,
+    /// Closes expired connections to servers.
+    pub server_sweeper: IdleSweeper,
+    /// Closes expired connections of players.
+    pub player_sweeper: IdleSweeper,
+    players: Mutex<Vec<Weak<Player>>>,
+    connections: AtomicUsize,
+    queued_requests: AtomicUsize,
+    waiting: AtomicUsize,
+    playing: AtomicUsize,
+    is_draining: AtomicBool,
+    pending_controls: AtomicUsize,
+    inbox: mpsc::Sender<Message>,
 }
 
 impl Shared {
+    /// The shared state, and the queue that the event loop reads. `front_name`: where none is given, one is
+    /// drawn.
     pub(crate) fn new(
         config: Config,
-        peers: Option<crate::membership_runner::Link>,
-        name: Option<String>,
-    ) -> (Arc<Shared>, mpsc::Receiver<Msg>) {
+        membership: Option<MembershipHandle>,
+        front_name: Option<String>,
+    ) -> (Arc<Shared>, mpsc::Receiver<Message>) {
         let (inbox, receiver) = mpsc::channel();
         let shared = Shared {
-            peers,
-            names: Names::new(name),
-            pool: Pool::default(),
-            quick: IdleSweeper::start(Duration::from_millis(50)),
-            slow: IdleSweeper::start(Duration::from_millis(500)),
+            membership,
+            names: AttemptNames::new(front_name),
+            pool: ConnectionPool::default(),
+            server_sweeper: IdleSweeper::start(SERVER_SWEEP_INTERVAL),
+            player_sweeper: IdleSweeper::start(PLAYER_SWEEP_INTERVAL),
+            players: Mutex::default(),
             connections: AtomicUsize::new(0),
-            players: std::sync::Mutex::default(),
-            queued: AtomicUsize::new(0),
+            queued_requests: AtomicUsize::new(0),
             waiting: AtomicUsize::new(0),
             playing: AtomicUsize::new(0),
-            draining: AtomicBool::new(false),
-            controls: AtomicUsize::new(0),
+            is_draining: AtomicBool::new(false),
+            pending_controls: AtomicUsize::new(0),
             config,
             inbox,
         };
         (Arc::new(shared), receiver)
     }
 
-    pub(crate) fn tell(&self, msg: Msg) {
-        if matches!(msg, Msg::Player(_)) {
-            self.queued.fetch_add(1, Ordering::Relaxed);
+    /// Queues a message for the event loop. After the loop's end it is dropped.
+    pub(crate) fn send(&self, message: Message) {
+        if matches!(message, Message::PlayerRequest { .. }) {
+            self.queued_requests.fetch_add(1, Ordering::Relaxed);
         }
-        let _ = self.inbox.send(msg); // After the hub's end nobody needs to know.
+        let _ = self.inbox.send(message);
+    }
+
+    /// Queues what a server sent.
+    pub(crate) fn send_from_server(&self, server: ServerId, message: ServerMessage) {
+        self.send(Message::Server { server, message });
+    }
+
+    /// The event loop took a [`Message::PlayerRequest`] from the queue.
+    pub(crate) fn request_dequeued(&self) {
+        self.queued_requests.fetch_sub(1, Ordering::Relaxed);
     }
 
+    /// Whether players sent more requests than the event loop should have before it.
+    pub(crate) fn has_request_backlog(&self) -> bool {
+        let most = self.config.terms.max_pending.saturating_mul(2);
+        self.queued_requests.load(Ordering::Relaxed) > most
+    }
+
+    /// The limits of the configuration.
     pub(crate) fn limits(&self) -> &Limits {
         &self.config.limits
     }
 
-    pub(crate) fn connect_within(&self) -> Duration {
+    /// How long a connection to a server may take.
+    pub(crate) fn connect_timeout(&self) -> Duration {
         Duration::from_nanos(self.config.limits.connect)
     }
+
+    /// A connection was accepted.
+    pub(crate) fn connection_opened(&self) {
+        self.connections.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// An accepted connection was closed.
+    pub(crate) fn connection_closed(&self) {
+        self.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Accepted connections that are open.
+    pub(crate) fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+
+    /// Publishes the core's counts: requests without an answer, and established sessions.
+    pub(crate) fn publish_counts(&self, waiting: usize, playing: usize) {
+        self.waiting.store(waiting, Ordering::Relaxed);
+        self.playing.store(playing, Ordering::Relaxed);
+    }
+
+    /// Requests without an answer, as last published.
+    pub(crate) fn waiting(&self) -> usize {
+        self.waiting.load(Ordering::Relaxed)
+    }
+
+    /// Established sessions, as last published.
+    pub(crate) fn playing(&self) -> usize {
+        self.playing.load(Ordering::Relaxed)
+    }
+
+    /// The front is draining from now on; this is never taken back.
+    pub(crate) fn start_draining(&self) {
+        self.is_draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the front is draining.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.is_draining.load(Ordering::Relaxed)
+    }
+
+    /// A rung change or teardown was queued for a server.
+    pub(crate) fn control_queued(&self) {
+        self.pending_controls.fetch_add(1, Ordering::AcqRel);
+    }
+
+    /// A queued rung change or teardown was sent or given up.
+    ///
+    /// Why not `Relaxed`: the event loop stops when it reads zero in [`Shared::has_pending_controls`], so
+    /// whatever the control did must have happened before that.
+    pub(crate) fn control_completed(&self) {
+        self.pending_controls.fetch_sub(1, Ordering::AcqRel);
+    }
+
+    /// Whether rung changes or teardowns have not been sent yet.
+    pub(crate) fn has_pending_controls(&self) -> bool {
+        self.pending_controls.load(Ordering::Acquire) > 0
+    }
+
+    /// Has a player's idle time watched until it is dropped.
+    pub(crate) fn register_player(&self, player: &Arc<Player>) {
+        self.players
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(Arc::downgrade(player));
+    }
+
+    /// Visits each connected player and removes those that are gone. `visit` must not wait: it runs under a
+    /// lock.
+    pub(crate) fn visit_players(&self, mut visit: impl FnMut(&Player)) {
+        self.players
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .retain(|player| {
+                let Some(player) = player.upgrade() else {
+                    return false;
+                };
+                visit(&player);
+                true
+            });
+    }
 }
--- a/crates/daemon/src/traffic.rs
+++ b/crates/daemon/src/traffic.rs
@@ -1,4 +1,5 @@
-//! The traffic desk of a front: from the configuration's names to numbers and back, and its file.
+//! Cross-zone traffic of this front: the controller, its configuration, and the saved account.
+use crate::errors::{SavedFileError, StartError};
 use crankpaddle::Idempotency;
 use crankpaddle_config::Config;
 use crankpaddle_cross_zone_traffic::budget::FrontPosition;
@@ -8,23 +9,26 @@
 };
 use crankpaddle_front::{AttemptId, ServerId, SetUpOrder};
 use crankpaddle_net::clock;
-use crankpaddle_server_protocol::event_stream;
+use crankpaddle_server_protocol::event_stream::CrossZoneRate;
 use std::collections::BTreeMap;
 use std::{fs, io};
 
-/// Sessions settled in one go, so that nobody waits for many.
-const STEP: usize = 512;
+/// Sessions settled in one step, so that no message waits for many.
+const SESSIONS_PER_STEP: usize = 512;
+/// Bytes in a kilobyte, the unit of rates in the account.
+const BYTES_PER_KB: f64 = 1000.0;
 
-pub(crate) struct Traffic {
-    pub desk: TrafficController,
+/// The traffic controller of a front, and the names of its numbers.
+pub(crate) struct TrafficAccounting {
+    pub controller: TrafficController,
     names: TrafficNames,
     front: u32,
     zone: u8,
-    groups: BTreeMap<u64, u16>, // By title.
-    settling: bool,
+    groups_by_title: BTreeMap<u64, u16>,
+    is_settling: bool,
 }
 
-fn names(config: &Config) -> TrafficNames {
+fn traffic_names(config: &Config) -> TrafficNames {
     TrafficNames {
         zones: config.zones.clone(),
         classes: config.classes.clone(),
@@ -33,166 +37,181 @@
     }
 }
 
-fn terms(config: &Config) -> TrafficConfig {
-    let s = &config.settings;
-    let class = |c: &crankpaddle::Class| TrafficClass {
-        paid: c.idempotency == Idempotency::AtMostOnce,
-        kb: s.rung_kb.iter().map(|kb| kb * c.rate_factor).collect(),
+fn traffic_config(config: &Config) -> TrafficConfig {
+    let settings = &config.settings;
+    let rungs = settings.rung_kb.iter();
+    let class = |class: &crankpaddle::Class| TrafficClass {
+        paid: class.idempotency == Idempotency::AtMostOnce,
+        kb: rungs.clone().map(|kb| kb * class.rate_factor).collect(),
     };
     TrafficConfig {
         place: FrontPosition {
-            index: s.front_index,
-            siblings: s.replica_count,
+            index: settings.front_index,
+            siblings: settings.replica_count,
         },
-        zone: s.zone,
-        classes: s.classes.iter().map(class).collect(),
+        zone: settings.zone,
+        classes: settings.classes.iter().map(class).collect(),
         limits: config.budgets.clone(),
-        note_delay: s.update_delay,
+        note_delay: settings.update_delay,
     }
 }
 
-/// What keeps the budgets of another configuration from being taken over while the front runs.
-pub(crate) fn unlike(old: &Config, new: &Config) -> Option<&'static str> {
-    let (before, after) = (terms(old), terms(new));
-    let without = |t: &TrafficConfig| TrafficConfig {
+/// The settings that differ and keep the budgets of another configuration from being taken over without a
+/// restart.
+pub(crate) fn changed_settings(old: &Config, new: &Config) -> Option<&'static str> {
+    let before = traffic_config(old);
+    let after = traffic_config(new);
+    let without_limits = |config: &TrafficConfig| TrafficConfig {
         limits: Vec::new(),
-        ..t.clone()
+        ..config.clone()
     };
-    // A new zone, class, tenant or group at the end moves no number; the account knows the others by theirs.
-    let moved = |old: &[String], new: &[String]| !new.starts_with(old);
     if (before.place, before.zone) != (after.place, after.zone) {
-        Some("front.index, front.siblings and front.zone")
-    } else if moved(&old.zones, &new.zones) {
-        Some("fleet.zone")
-    } else if without(&before) != without(&after) || old.classes != new.classes {
-        Some("classes and rungs")
-    } else {
-        None
+        return Some("front.index, front.siblings and front.zone");
     }
+    // A zone added at the end leaves the numbers of the others as they are.
+    if !new.zones.starts_with(&old.zones) {
+        return Some("fleet.zone");
+    }
+    if without_limits(&before) != without_limits(&after) || old.classes != new.classes {
+        return Some("classes and rungs");
+    }
+    None
 }
 
-/// What an earlier life of this front kept of its account.
+/// The account that a previous incarnation of this front saved, if there is one.
 ///
 /// # Errors
-/// The file is there and can't be read, or holds something else: an account that would begin at nothing unseen.
-pub(crate) fn kept(config: &Config) -> io::Result<Option<TrafficReport>> {
+/// The file can't be read or holds something else. It is not ignored: an account would begin at zero
+/// unnoticed.
+pub(crate) fn load_saved_account(config: &Config) -> Result<Option<TrafficReport>, StartError> {
     let Some(path) = &config.traffic_file else {
         return Ok(None);
     };
-    let wrong = |what: String| io::Error::other(format!("{}: {what}", path.display()));
     let text = match fs::read_to_string(path) {
-        Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
-        Err(e) => return Err(wrong(e.to_string())),
-        Ok(text) => text,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+        text => text.map_err(SavedFileError::from),
     };
-    let report: TrafficReport =
-        serde_json::from_str(&text).map_err(|e| wrong(format!("no account of traffic: {e}")))?;
-    if report.front != config.settings.front_index {
-        return Err(wrong(format!(
-            "is the account of front {}, not of this one",
-            report.front
-        )));
-    }
-    Ok(Some(report))
+    let report = text.and_then(|text| parse_account(&text, config.settings.front_index));
+    match report {
+        Ok(report) => Ok(Some(report)),
+        Err(source) => Err(StartError::SavedFile {
+            path: path.clone(),
+            source,
+        }),
+    }
 }
 
-impl Traffic {
-    pub(crate) fn new(config: &Config, kept: Option<&TrafficReport>) -> Traffic {
-        let (mut desk, names) = (TrafficController::new(terms(config)), names(config));
-        if let Some(report) = kept {
-            desk.restore(&report.saved_flows(&names));
+fn parse_account(text: &str, own_front: u32) -> Result<TrafficReport, SavedFileError> {
+    let report: TrafficReport = serde_json::from_str(text)?;
+    if report.front != own_front {
+        return Err(SavedFileError::OtherFront {
+            front: report.front,
+        });
+    }
+    Ok(report)
+}
+
+impl TrafficAccounting {
+    /// The accounting of a configured front, restored from the saved account where there is one.
+    pub(crate) fn new(config: &Config, saved: Option<&TrafficReport>) -> TrafficAccounting {
+        let mut controller = TrafficController::new(traffic_config(config));
+        let names = traffic_names(config);
+        if let Some(report) = saved {
+            controller.restore(&report.saved_flows(&names));
         }
-        let groups = config
-            .titles
-            .values()
-            .map(|t| (t.number, t.group))
-            .collect();
-        let (front, zone) = (config.settings.front_index, config.settings.zone);
-        Traffic {
-            desk,
+        let titles = config.titles.values();
+        TrafficAccounting {
+            controller,
             names,
-            front,
-            zone,
-            groups,
-            settling: false,
+            front: config.settings.front_index,
+            zone: config.settings.zone,
+            groups_by_title: titles.map(|title| (title.number, title.group)).collect(),
+            is_settling: false,
         }
     }
 
-    /// The name of a server's zone; empty where it is not listed.
-    pub(crate) fn hall(&self, server: ServerId) -> &str {
-        let zone = self
-            .desk
-            .zone(server.0)
-            .and_then(|zone| self.names.zones.get(usize::from(zone)));
-        zone.map_or("", String::as_str)
+    /// The name of a server's zone; empty where the server is not listed.
+    pub(crate) fn zone_name(&self, server: ServerId) -> &str {
+        let zone = self.controller.zone(server.0);
+        let name = zone.and_then(|zone| self.names.zones.get(usize::from(zone)));
+        name.map_or("", String::as_str)
     }
 
-    pub(crate) fn attempt(
+    /// An attempt starts; `number`: its number within its request.
+    pub(crate) fn attempt_started(
         &mut self,
-        id: AttemptId,
+        attempt: AttemptId,
         number: u8,
         server: ServerId,
         order: &SetUpOrder,
     ) {
-        let group = self.groups.get(&order.title).copied().unwrap_or(0);
-        let (server, class, tenant, rung) = (server.0, order.class, order.tenant, order.rung);
-        self.desk.attempt_started(AttemptUsage {
-            id: id.0,
+        let group = self.groups_by_title.get(&order.title);
+        self.controller.attempt_started(AttemptUsage {
+            id: attempt.0,
             number,
-            server,
-            class,
-            tenant,
-            group,
-            rung,
+            server: server.0,
+            class: order.class,
+            tenant: order.tenant,
+            group: group.copied().unwrap_or(0),
+            rung: order.rung,
         });
     }
 
-    /// What a server counted of this front's sessions, by their numbers, and of what crosses to its zone.
-    pub(crate) fn counted(
+    /// A server counted the bytes of this front's attempts, and the rates of what crosses to other zones.
+    pub(crate) fn add_counts(
         &mut self,
         server: ServerId,
-        sent: &[(AttemptId, u64)],
-        crossing: &[event_stream::CrossZoneRate],
+        sent_bytes: &[(AttemptId, u64)],
+        crossing: &[CrossZoneRate],
     ) {
         let now = clock::now();
-        sent.iter()
-            .for_each(|(attempt, bytes)| self.desk.bytes_counted(attempt.0, *bytes, now));
-        let own = self.names.zones.get(usize::from(self.zone));
-        let mut kb: BTreeMap<u8, f64> = BTreeMap::new();
-        for c in crossing
-            .iter()
-            .filter(|c| Some(&c.to) == own && c.rate.is_finite())
-        {
-            if let Some(class) = self.names.classes.iter().position(|name| *name == c.class) {
-                *kb.entry(class as u8).or_default() += c.rate / 1000.0;
+        for (attempt, bytes) in sent_bytes {
+            self.controller.bytes_counted(attempt.0, *bytes, now);
+        }
+        let rates = self.rates_to_own_zone(crossing);
+        self.controller.usage_reported(server.0, rates, now);
+    }
+
+    /// Kilobytes a second to this front's zone, by class.
+    fn rates_to_own_zone(&self, crossing: &[CrossZoneRate]) -> BTreeMap<u8, f64> {
+        let own_zone = self.names.zones.get(usize::from(self.zone));
+        let mut rates: BTreeMap<u8, f64> = BTreeMap::new();
+        for entry in crossing {
+            if Some(&entry.to) != own_zone || !entry.rate.is_finite() {
+                continue;
+            }
+            let mut classes = self.names.classes.iter();
+            if let Some(class) = classes.position(|name| *name == entry.class) {
+                *rates.entry(class as u8).or_default() += entry.rate / BYTES_PER_KB;
             }
         }
-        self.desk.usage_reported(server.0, kb, now);
+        rates
     }
 
-    /// Other budgets, and zones that were added; what was counted and is owed stays.
-    pub(crate) fn change(&mut self, config: &Config) {
-        self.desk.change(terms(config));
+    /// Applies other budgets, and zones that were added; what was counted stays.
+    pub(crate) fn change_budgets(&mut self, config: &Config) {
+        self.controller.change(traffic_config(config));
         self.names.zones.clone_from(&config.zones);
     }
 
-    /// Begins a round of settling.
-    pub(crate) fn begin_round(&mut self) {
-        self.settling = true;
+    /// Starts to settle the usage of all sessions, in steps.
+    pub(crate) fn start_settlement(&mut self) {
+        self.is_settling = true;
     }
 
-    /// Settles some; whether there is more to do.
-    pub(crate) fn settle_some(&mut self) -> bool {
-        if self.settling {
-            self.settling = !self.desk.settle_usage(clock::now(), STEP);
+    /// Settles the next sessions; whether some are left.
+    pub(crate) fn settle_step(&mut self) -> bool {
+        if self.is_settling {
+            let now = clock::now();
+            self.is_settling = !self.controller.settle_usage(now, SESSIONS_PER_STEP);
         }
-        self.settling
+        self.is_settling
     }
 
     /// The report as JSON.
     pub(crate) fn report(&mut self) -> String {
         let report = TrafficReport::of(
-            &mut self.desk,
+            &mut self.controller,
             self.front,
             self.zone,
             &self.names,
--- /dev/null
+++ b/crates/daemon/src/websocket_handshake.rs
@@ -0,0 +1,91 @@
+//! The opening handshake of WebSocket (RFC 6455, section 4.2), and the choice of the session API's version.
+use crate::http_responses::CLOSE;
+use crankpaddle_http::head::{self, Request};
+use crankpaddle_http::problem::Problem;
+use crankpaddle_session_api::Version;
+use tungstenite::handshake;
+
+/// The one version of the WebSocket protocol there is.
+const WEBSOCKET_VERSION: &str = "13";
+/// Characters of 16 bytes in base64, the padding included.
+const KEY_LENGTH: usize = 24;
+/// The padding of 16 bytes in base64.
+const KEY_PADDING: &str = "==";
+
+/// An accepted handshake.
+pub(crate) struct AcceptedHandshake {
+    pub version: Version,
+    /// The bytes of the response.
+    pub response: Vec<u8>,
+}
+
+/// Whether a request asks for an upgrade to WebSocket.
+pub(crate) fn is_upgrade(request: &Request) -> bool {
+    request.fields.has_word("upgrade", "websocket")
+        && request.fields.has_word("connection", "upgrade")
+}
+
+/// Accepts a handshake.
+///
+/// # Errors
+/// The bytes of the response that rejects it.
+pub(crate) fn accept(request: &Request) -> Result<AcceptedHandshake, Vec<u8>> {
+    if request.path().0 != "/session" {
+        return Err(rejection(404, "WebSocket is spoken at /session"));
+    }
+    if request.method != "GET" || request.minor == 0 {
+        return Err(rejection(400, "a WebSocket handshake is a GET of HTTP/1.1"));
+    }
+    if request.fields.get("sec-websocket-version") != Some(WEBSOCKET_VERSION) {
+        return Err(rejection(426, "WebSocket version 13 is spoken here"));
+    }
+    let key = handshake_key(request)
+        .ok_or_else(|| rejection(400, "Sec-WebSocket-Key is 16 bytes in base64, once"))?;
+    let subprotocol = subprotocol(request)?;
+    let accept_key = handshake::derive_accept_key(key.as_bytes());
+    let mut fields = vec![
+        ("upgrade", "websocket"),
+        ("connection", "Upgrade"),
+        ("sec-websocket-accept", &accept_key),
+    ];
+    if let Some(version) = subprotocol {
+        fields.push(("sec-websocket-protocol", version.subprotocol()));
+    }
+    Ok(AcceptedHandshake {
+        version: subprotocol.unwrap_or(Version::V1),
+        response: head::response(101, &fields, b""),
+    })
+}
+
+/// The handshake's key; `None` where it is malformed or given more than once.
+fn handshake_key(request: &Request) -> Option<&str> {
+    let mut keys = request.fields.all("sec-websocket-key");
+    let key = keys.next()?;
+    let is_single = keys.next().is_none();
+    let digits = key.strip_suffix(KEY_PADDING)?;
+    let is_base64 = |c: char| c.is_ascii_alphanumeric() || c == '+' || c == '/';
+    let is_valid = key.len() == KEY_LENGTH && digits.chars().all(is_base64);
+    (is_single && is_valid).then_some(key)
+}
+
+/// The version that is chosen from the offered subprotocols; `None` where none is offered.
+fn subprotocol(request: &Request) -> Result<Option<Version>, Vec<u8>> {
+    let offers = request.fields.all("sec-websocket-protocol");
+    let chosen = Version::of_offers(offers.flat_map(|field| field.split(',')));
+    let has_offers = request.fields.get("sec-websocket-protocol").is_some();
+    if has_offers && chosen.is_none() {
+        let known = Version::SERVED.map(Version::subprotocol).join(", ");
+        let detail = format!("no known subprotocol is offered; known: {known}");
+        return Err(rejection(400, &detail));
+    }
+    Ok(chosen)
+}
+
+/// The response to a rejected handshake; 426 gives the version that is served.
+fn rejection(status: u16, detail: &str) -> Vec<u8> {
+    let mut fields = vec![CLOSE];
+    if status == 426 {
+        fields.push(("sec-websocket-version", WEBSOCKET_VERSION));
+    }
+    Problem::of(status, detail).response(&fields)
+}
