Daemon tests: support, described and edges in small modules and the field's terms

Change: support in backend, harness and player; described in transcript and one module a part of the run; edges in frames, calls, http, limits and lifecycle.

--- /dev/null
+++ b/crates/daemon/tests/described/altered_descriptions.rs
@@ -0,0 +1,117 @@
+//! Descriptions that differ from what is exchanged: the check finds each difference and names it.
+use crankpaddle_api::conform::{Checker, Exception, Exchange};
+use serde_json::{json, Value};
+
+/// A change of the description: what it is, the change, and what the verdict must name.
+type Alteration = (&'static str, fn(&mut Value), &'static str);
+
+const ALTERATIONS: [Alteration; 10] = [
+    (
+        "a property is dropped",
+        |d| {
+            drop(
+                d["components"]["schemas"]["Opened"]["properties"]
+                    .as_object_mut()
+                    .unwrap()
+                    .remove("media"),
+            );
+        },
+        "\"media\"",
+    ),
+    (
+        "a reason stands in the code only",
+        |d| {
+            drop(
+                d["components"]["schemas"]["FailedReason"]["oneOf"]
+                    .as_array_mut()
+                    .unwrap()
+                    .remove(0),
+            );
+        },
+        "\"no_answer\"",
+    ),
+    (
+        "a reason stands in the description only",
+        |d| {
+            d["components"]["schemas"]["EndReason"]["oneOf"]
+                .as_array_mut()
+                .unwrap()
+                .push(json!({"const": "bored"}));
+        },
+        "end.params.reason = \"bored\"",
+    ),
+    (
+        "a property that is never sent",
+        |d| {
+            d["components"]["schemas"]["Ended"]["properties"]["mood"] = json!({"type": "string"});
+        },
+        "end.params.mood",
+    ),
+    (
+        "another type",
+        |d| {
+            d["components"]["schemas"]["RungChanged"]["properties"]["rung"] =
+                json!({"type": "string"});
+        },
+        "session.rung",
+    ),
+    (
+        "a narrower bound",
+        |d| {
+            d["components"]["schemas"]["Opened"]["properties"]["session"]["maxLength"] = json!(1);
+        },
+        "\"session\":\"s-",
+    ),
+    (
+        "an optional property must be there",
+        |d| {
+            d["components"]["schemas"]["Refused"]["required"]
+                .as_array_mut()
+                .unwrap()
+                .push(json!("advice"));
+        },
+        "\"refused\"",
+    ),
+    (
+        "another code",
+        |d| {
+            d["components"]["messages"]["superseded"]["payload"]["properties"]["error"]
+                ["properties"]["code"] = json!({"const": -32_099});
+        },
+        "-32003",
+    ),
+    (
+        "a message is dropped",
+        |d| {
+            d["operations"]["tell"]["messages"]
+                .as_array_mut()
+                .unwrap()
+                .retain(|m| !m["$ref"].as_str().unwrap().ends_with("/parseError"));
+        },
+        "-32700",
+    ),
+    (
+        "another method",
+        |d| {
+            d["components"]["messages"]["resume"]["payload"]["properties"]["method"] =
+                json!({"const": "session.again"});
+        },
+        "resume",
+    ),
+];
+
+pub(crate) fn check_each(exchanges: &[Exchange], exceptions: &[Exception]) {
+    for (what, alter, name) in ALTERATIONS {
+        let mut document = crankpaddle_api::parsed(crankpaddle_api::PRESENT);
+        alter(&mut document);
+        let mut checker = Checker::new(&document.to_string(), crankpaddle_api::OPENAPI).unwrap();
+        for exchange in exchanges {
+            checker.take(exchange);
+        }
+        let verdict = checker.verdict(exceptions);
+        assert!(
+            !verdict.agrees() && verdict.to_string().contains(name),
+            "{what}: {verdict}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/described/versions.rs
@@ -0,0 +1,43 @@
+//! Which version a handshake chooses.
+use crate::support::Harness;
+use std::io::{Read, Write};
+
+#[test]
+fn versions_are_negotiated_by_name_in_the_clients_order() {
+    let harness = Harness::new(&[]);
+    for (offered, chosen) in [
+        (
+            "session.v2.jsonrpc, session.v1.jsonrpc",
+            Some("session.v2.jsonrpc"),
+        ),
+        (
+            "session.v1.jsonrpc, session.v2.jsonrpc",
+            Some("session.v1.jsonrpc"),
+        ),
+        (
+            "session.v9.jsonrpc, session.v1.jsonrpc",
+            Some("session.v1.jsonrpc"),
+        ),
+        ("session.v9.jsonrpc", None),
+    ] {
+        let head = format!(
+            "GET /session HTTP/1.1\r\nhost: a\r\nupgrade: websocket\r\nconnection: upgrade\r\nsec-websocket-version: 13\r\n\
+             sec-websocket-key: dGhlIHNhbXBsZSBub25jZQ==\r\nsec-websocket-protocol: {offered}\r\n\r\n"
+        );
+        let mut stream = harness.connect();
+        stream.write_all(head.as_bytes()).unwrap();
+        let mut answer = [0u8; 1024];
+        let n = stream.read(&mut answer).unwrap();
+        let answer = String::from_utf8_lossy(&answer[..n]).into_owned();
+        match chosen {
+            Some(chosen) => {
+                assert!(
+                    answer.starts_with("HTTP/1.1 101 ")
+                        && answer.contains(&format!("sec-websocket-protocol: {chosen}\r\n")),
+                    "{answer}"
+                );
+            }
+            None => assert!(answer.starts_with("HTTP/1.1 400 "), "{answer}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/edges/calls.rs
@@ -0,0 +1,123 @@
+//! Malformed calls, and batches of calls.
+use crate::support::{wait_until, Harness, PAID};
+use crankpaddle_session_api::client::{self, ClientEvent};
+use tungstenite::Message;
+
+#[test]
+fn malformed_calls_are_answered_with_the_standard_codes() {
+    let harness = Harness::new(&[]);
+    let mut player = harness.connect_player();
+    for (text, code) in [
+        ("{", -32700),
+        ("[]", -32600),
+        ("5", -32600),
+        (r#"{"jsonrpc":"2.0","id":1,"method":"session.fly"}"#, -32601),
+        (
+            r#"{"jsonrpc":"2.0","id":1,"method":"session.open","params":{"key":"12345678"}}"#,
+            -32602,
+        ),
+        (
+            r#"{"jsonrpc":"2.0","id":1,"method":"session.open","params":{"key":"12345678","title":"none","class":"preview"}}"#,
+            -32602,
+        ),
+        (
+            r#"{"jsonrpc":"2.0","id":1,"method":"session.open","params":{"key":"12345678","title":"clip-01","class":"x"}}"#,
+            -32602,
+        ),
+        (
+            r#"{"jsonrpc":"2.0","id":1,"method":"session.open","params":{"key":"12345678","title":"clip-01","class":"preview","tenant":"x"}}"#,
+            -32602,
+        ),
+    ] {
+        player.send(text);
+        assert!(
+            matches!(player.receive(), ClientEvent::Error { code: c, .. } if c == code),
+            "{text}"
+        );
+    }
+    // Notifications are never answered, whatever is wrong with them, and set nothing up.
+    player.send(r#"{"jsonrpc":"2.0","method":"session.fly"}"#);
+    player.send(r#"{"jsonrpc":"2.0","method":"session.open","params":{"key":"unanswered","title":"clip-01","class":"preview"}}"#);
+    player.send(
+        r#"{"jsonrpc":"2.0","id":3,"method":"session.resume","params":{"key":"unanswered"}}"#,
+    );
+    assert_eq!(player.receive(), ClientEvent::Unknown { id: 3 });
+    assert_eq!(harness.set_ups_and_bills("unanswered"), (0, 0));
+}
+
+#[test]
+fn a_batch_of_a_thousand_requests_gets_a_thousand_answers_in_one() {
+    let harness = Harness::new(&[
+        ("message: \"64KiB\"", "message: \"1MiB\""),
+        ("unread: \"64KiB\"", "unread: \"4MiB\""),
+        (
+            "open_requests_per_connection: 64",
+            "open_requests_per_connection: 1000",
+        ),
+    ]);
+    let mut player = harness.connect_player();
+    let open = |n: u32| {
+        format!(
+            r#"{{"jsonrpc":"2.0","id":{n},"method":"session.open","params":{{"key":"batch-{n:04}","title":"clip-{:02}","class":"preview"}}}}"#,
+            n % 24
+        )
+    };
+    let calls: Vec<String> = (0..1000).map(open).collect();
+    player.send(format!("[{}]", calls.join(",")));
+    let Message::Text(text) = player.socket.read().unwrap() else {
+        panic!()
+    };
+    let mut ids: Vec<u64> = client::read(&text)
+        .unwrap()
+        .iter()
+        .map(|event| match event {
+            ClientEvent::Plays { id, .. }
+            | ClientEvent::Refused { id, .. }
+            | ClientEvent::Failed { id, .. } => *id,
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    ids.sort_unstable();
+    assert_eq!(ids, (0..1000).collect::<Vec<u64>>());
+    drop(player);
+    wait_until("all to end", || {
+        harness.daemon.counts() == (0, 0) && harness.fleet.streams() == 0
+    });
+    assert_eq!(harness.verdict().breaches, []);
+}
+
+#[test]
+fn a_notice_of_a_session_never_overtakes_the_batch_that_answers_it() {
+    let harness = Harness::new(&[]);
+    // clip-05 lies in cells 1 to 3 and comes to play at once; clip-18, in cells 6 to 8, is asked for in vain.
+    (6..9).for_each(|id| harness.fleet.set_mode(id, |m| m.hangs = true));
+    let mut player = harness.connect_player();
+    let open = |id: u32, title: &str| {
+        format!(
+            r#"{{"jsonrpc":"2.0","id":{id},"method":"session.open","params":{{"key":"ordered-{id}","title":"{title}","class":"{PAID}"}}}}"#
+        )
+    };
+    player.send(format!("[{},{}]", open(1, "clip-05"), open(2, "clip-18")));
+    wait_until("the first to be set up", || {
+        harness.fleet.streams() > 0 && harness.set_ups_and_bills("ordered-1").1 == 1
+    });
+    // Its server is lost while the batch still waits for the other answer.
+    wait_until("the front to know", || harness.daemon.counts() == (1, 1));
+    (1..4).for_each(|id| harness.fleet.crash(id));
+    // The other may have been given up by then, on a slow machine; the order is the same.
+    wait_until("the front to see it", || harness.daemon.counts().1 == 0);
+    let Message::Text(first) = player.socket.read().unwrap() else {
+        panic!()
+    };
+    let answers = client::read(&first).unwrap();
+    assert_eq!(answers.len(), 2, "the batch comes first: {first}");
+    let session = answers.iter().find_map(|event| match event {
+        ClientEvent::Plays { id: 1, session, .. } => Some(session.clone()),
+        _ => None,
+    });
+    let ended = player.receive();
+    assert!(
+        matches!(&ended, ClientEvent::End { session: s, .. } if Some(s) == session.as_ref()),
+        "{ended:?}"
+    );
+}
--- /dev/null
+++ b/crates/daemon/tests/edges/frames.rs
@@ -0,0 +1,98 @@
+//! Malformed and unusual WebSocket frames.
+use crate::support::{Harness, FREE};
+use crankpaddle_session_api::client::ClientEvent;
+use std::io::Write;
+use tungstenite::protocol::frame::coding::CloseCode;
+use tungstenite::Message;
+
+/// The code that the front closes a WebSocket with after these bytes.
+fn closed_with(harness: &Harness, bytes: &[u8]) -> CloseCode {
+    let mut player = harness.connect_player();
+    player.socket.get_mut().write_all(bytes).unwrap();
+    loop {
+        match player.socket.read() {
+            Ok(Message::Close(Some(frame))) => return frame.code,
+            Ok(_) => {}
+            Err(e) => panic!("no close frame: {e}"),
+        }
+    }
+}
+
+/// A client's frame, masked with zeros.
+fn frame(first: u8, payload: &[u8]) -> Vec<u8> {
+    let mut bytes = vec![first];
+    match payload.len() {
+        n @ 0..126 => bytes.push(0x80 | n as u8),
+        n @ 126..65536 => bytes.extend([0x80 | 126, (n >> 8) as u8, n as u8]),
+        n => bytes.extend([&[0x80 | 127][..], &(n as u64).to_be_bytes()].concat()),
+    }
+    bytes.extend([0; 4]);
+    bytes.extend(payload);
+    bytes
+}
+
+#[test]
+fn malformed_frames_close_the_connection_with_their_code_and_harm_no_other() {
+    let harness = Harness::new(&[]);
+    let mut other = harness.connect_player();
+    for (what, bytes, code) in [
+        ("unmasked", vec![0x81, 2, b'{', b'}'], CloseCode::Protocol),
+        ("reserved bits", frame(0xf1, b"{}"), CloseCode::Protocol),
+        ("reserved opcode", frame(0x83, b"{}"), CloseCode::Protocol),
+        (
+            "a continuation of nothing",
+            frame(0x80, b"{}"),
+            CloseCode::Protocol,
+        ),
+        ("a fragmented ping", frame(0x09, b""), CloseCode::Protocol),
+        (
+            "a ping that is too long",
+            frame(0x89, &[0; 126]),
+            CloseCode::Protocol,
+        ),
+        (
+            "a text that is no UTF-8",
+            frame(0x81, &[0xff, 0xfe]),
+            CloseCode::Invalid,
+        ),
+        ("binary", frame(0x82, b"{}"), CloseCode::Unsupported),
+        ("oversize", frame(0x81, &[b' '; 70_000]), CloseCode::Size),
+        (
+            "oversize in pieces",
+            [frame(0x01, &[b' '; 60_000]), frame(0x80, &[b' '; 60_000])].concat(),
+            CloseCode::Size,
+        ),
+    ] {
+        assert_eq!(closed_with(&harness, &bytes), code, "{what}");
+    }
+    let (_, event) = other.open_and_wait("unharmed-by-it", FREE);
+    assert!(matches!(event, ClientEvent::Plays { .. }), "{event:?}");
+}
+
+#[test]
+fn fragments_pings_and_closes_are_as_the_protocol_has_them() {
+    let harness = Harness::new(&[]);
+    let mut player = harness.connect_player();
+    let text = br#"{"jsonrpc":"2.0","id":7,"method":"session.close","params":{"session":"s-0"}}"#;
+    let (a, b) = text.split_at(20);
+    let mixed = [
+        frame(0x01, a),
+        frame(0x89, b"are you there"),
+        frame(0x80, b),
+    ]
+    .concat();
+    // A byte at a time: no piece of it is whole.
+    for byte in mixed {
+        player.socket.get_mut().write_all(&[byte]).unwrap();
+    }
+    assert_eq!(
+        player.socket.read().unwrap(),
+        Message::Pong("are you there".into())
+    );
+    assert_eq!(player.receive(), ClientEvent::Unknown { id: 7 });
+    player.socket.close(None).unwrap();
+    assert!(matches!(
+        player.socket.read(),
+        Ok(Message::Close(_)) | Err(tungstenite::Error::ConnectionClosed)
+    ));
+}
--- /dev/null
+++ b/crates/daemon/tests/edges/lifecycle.rs
@@ -0,0 +1,125 @@
+//! Start and shutdown of a front, and the list service's absence.
+use crate::support::{self, front_text, wait_until, Harness, FREE, PAID};
+use crankpaddle_session_api::client::ClientEvent;
+use crankpaddle_testbed::record::Seen;
+use tungstenite::protocol::frame::coding::CloseCode;
+use tungstenite::Message;
+
+#[test]
+fn without_the_list_service_a_front_starts_from_the_list_on_disk() {
+    let text = support::fleet_text(&[]);
+    let (config, fleet, recorder) = support::start_fleet(&text);
+    let dir = std::env::temp_dir().join(format!("crankpaddle-cache-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let cache = dir.join("list.json");
+    let cache_name = cache.to_string_lossy().into_owned();
+    let start = |list: &std::net::SocketAddr| {
+        let config = crankpaddle_config::parse(&front_text(&text, list, &cache_name)).unwrap();
+        crankpaddle_daemon::Daemon::start(config).unwrap()
+    };
+    let list = support::start_list_service(&config, &fleet, &recorder);
+    let first = start(&list.address);
+    wait_until("the list on disk", || {
+        std::fs::read_to_string(&cache).is_ok_and(|t| t.matches("address").count() == 12)
+    });
+    first.drain();
+    first.wait();
+    let gone = std::net::TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    let second = start(&gone);
+    let (_, event) =
+        support::Player::connect(second.address()).open_and_wait("from-the-disk", FREE);
+    assert!(matches!(event, ClientEvent::Plays { .. }), "{event:?}");
+    // A copy that is broken keeps no front from starting.
+    std::fs::write(&cache, "{").unwrap();
+    let third = start(&gone);
+    let (_, event) = support::Player::connect(third.address()).open_and_wait("without-list", FREE);
+    assert!(matches!(event, ClientEvent::Refused { .. }), "{event:?}");
+    std::fs::remove_dir_all(&dir).unwrap();
+}
+
+#[test]
+fn a_front_that_drains_takes_nothing_new_answers_what_is_under_way_and_ends() {
+    let harness = Harness::new(&[]);
+    let mut playing = harness.connect_player();
+    let (_, event) = playing.open_and_wait("plays-on", FREE);
+    assert!(matches!(event, ClientEvent::Plays { .. }));
+    harness.set_modes(|m| m.hangs = true);
+    let mut waiting = harness.connect_player();
+    let call = waiting.call_open("under-way", PAID);
+    wait_until("the set-up to arrive", || {
+        harness.set_ups_and_bills("under-way").0 == 1
+    });
+    harness.daemon.drain();
+    let mut late = harness.connect_player();
+    let (_, event) = late.open_and_wait("too-late", FREE);
+    assert!(
+        matches!(&event, ClientEvent::Refused { reason, .. } if reason == "stopping"),
+        "{event:?}"
+    );
+    let health = harness.exchange(b"GET /health HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+    assert!(
+        health.starts_with("HTTP/1.1 503 ") && health.contains("draining"),
+        "{health}"
+    );
+    harness.set_modes(|m| m.hangs = false);
+    assert!(
+        matches!(waiting.receive(), ClientEvent::Plays { id, .. } if id == call),
+        "what was under way is answered"
+    );
+    for player in [&mut playing, &mut waiting] {
+        let event = player.receive();
+        assert!(
+            matches!(&event, ClientEvent::End { reason, .. } if reason == "stopping"),
+            "{event:?}"
+        );
+        assert!(
+            matches!(player.socket.read(), Ok(Message::Close(Some(f))) if f.code == CloseCode::Away)
+        );
+    }
+    harness.daemon.wait();
+    wait_until("the servers to be told", || harness.fleet.streams() == 0);
+}
+
+/// Danger: with the list service gone nobody tells of a start, and a front that held nothing at a server would meet it as a warm one.
+#[test]
+fn while_nobody_tells_of_starts_each_server_is_listened_to_and_one_that_starts_is_cold() {
+    let harness = Harness::new(&[]);
+    harness.list.set_gone(true);
+    wait_until("each server to be listened to", || {
+        harness.fleet.servers.iter().all(|s| s.listeners() > 0)
+    });
+    for id in 0..12 {
+        harness.fleet.crash(id);
+        harness.fleet.restart(id).unwrap();
+    }
+    wait_until("each to be listened to again", || {
+        harness.fleet.servers.iter().all(|s| s.listeners() > 0)
+    });
+    let mut player = harness.connect_player();
+    // Either it plays, which takes a server's work, or no turn is there, which shows that starts are known.
+    player.open_and_wait("first-alone", FREE);
+    let (calls, mut answers) = (40, 0);
+    for n in 0..calls {
+        player.call_open(&format!("burst-{n:04}"), FREE);
+    }
+    while answers < calls {
+        answers += usize::from(matches!(
+            player.receive(),
+            ClientEvent::Plays { .. } | ClientEvent::Refused { .. } | ClientEvent::Failed { .. }
+        ));
+    }
+    // Each has its turn in time.
+    wait_until("a turn", || {
+        let mut player = harness.connect_player();
+        let key = format!("later-{}", harness.count_seen(|_| true));
+        matches!(
+            player.open_and_wait(&key, FREE).1,
+            ClientEvent::Plays { .. }
+        )
+    });
+    assert_eq!(harness.count_seen(|s| matches!(s, Seen::Fell { .. })), 0);
+    assert_eq!(harness.verdict().breaches, []);
+}
--- /dev/null
+++ b/crates/daemon/tests/edges/limits.rs
@@ -0,0 +1,109 @@
+//! Limits of connections: pending requests, silence, bytes not read, and their number.
+use crate::support::{wait_until, Harness, FREE, PAID, TEST_TIMEOUT};
+use crankpaddle_session_api::client::ClientEvent;
+use std::io::{Read, Write};
+use std::time::{Duration, Instant};
+use tungstenite::Message;
+
+#[test]
+fn a_connection_may_only_wait_for_so_much_at_once() {
+    let harness = Harness::new(&[(
+        "open_requests_per_connection: 64",
+        "open_requests_per_connection: 3",
+    )]);
+    harness.set_modes(|m| m.hangs = true);
+    let mut player = harness.connect_player();
+    let titles = ["clip-00", "clip-01", "clip-02", "clip-04", "clip-05"];
+    let calls: Vec<u64> = titles
+        .iter()
+        .map(|t| player.call_open_title(&format!("at-once-{t}"), PAID, t))
+        .collect();
+    for call in &calls[3..] {
+        let event = player.receive();
+        let ClientEvent::Refused {
+            id,
+            reason,
+            retry_after_ms,
+        } = &event
+        else {
+            panic!("{event:?}")
+        };
+        assert_eq!((id, reason.as_str()), (call, "too_many_open"));
+        assert!(retry_after_ms.is_some());
+    }
+    let failed = (0..3)
+        .map(|_| player.receive())
+        .filter(|s| matches!(s, ClientEvent::Failed { .. }))
+        .count();
+    assert_eq!(failed, 3, "the others are answered in their time");
+}
+
+#[test]
+fn half_open_and_half_said_connections_are_closed_after_their_time() {
+    let harness = Harness::new(&[
+        ("handshake: \"5s\"", "handshake: \"300ms\""),
+        ("idle: \"30s\"", "idle: \"400ms\""),
+    ]);
+    for event in ["", "GET /session HT"] {
+        let mut stream = harness.connect();
+        stream.write_all(event.as_bytes()).unwrap();
+        let mut rest = Vec::new();
+        let _ = stream.read_to_end(&mut rest); // Closed or reset: it is over either way.
+    }
+    // A player that is silent is pinged; one that does not answer that is closed.
+    let mut silent = harness.connect_player();
+    let mut bytes = [0; 2];
+    silent.socket.get_mut().read_exact(&mut bytes).unwrap();
+    assert_eq!(bytes, [0x89, 0], "a ping");
+    let mut rest = Vec::new();
+    let _ = silent.socket.get_mut().read_to_end(&mut rest);
+    // One that answers pings stays.
+    let mut lively = harness.connect_player();
+    let until = Instant::now() + Duration::from_millis(2500);
+    while Instant::now() < until {
+        assert!(matches!(lively.socket.read(), Ok(Message::Ping(_))));
+        lively.socket.flush().unwrap();
+    }
+    let (_, event) = lively.open_and_wait("still-there", FREE);
+    assert!(matches!(event, ClientEvent::Plays { .. }));
+}
+
+#[test]
+fn a_player_that_never_reads_is_cut_and_the_others_are_served() {
+    let harness = Harness::new(&[("unread: \"64KiB\"", "unread: \"16KiB\"")]);
+    let mut deaf = harness.connect_player();
+    // Each call is answered by an error that repeats its long method; nothing of it is ever read.
+    let text = format!(
+        r#"{{"jsonrpc":"2.0","id":1,"method":"{}"}}"#,
+        "x".repeat(30_000)
+    );
+    let until = Instant::now() + TEST_TIMEOUT;
+    while deaf.socket.send(Message::text(text.clone())).is_ok() {
+        assert!(Instant::now() < until, "it is never cut");
+    }
+    let mut other = harness.connect_player();
+    let (_, event) = other.open_and_wait("heard-all", FREE);
+    assert!(matches!(event, ClientEvent::Plays { .. }), "{event:?}");
+}
+
+#[test]
+fn more_connections_than_allowed_are_told_so() {
+    let harness = Harness::new(&[("connections: 8000", "connections: 5")]);
+    wait_until("the probe's connection to end", || {
+        harness
+            .exchange(b"GET /health HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
+            .contains("\"connections\":1")
+    });
+    let held: Vec<_> = (0..5).map(|_| harness.connect_player()).collect();
+    let answer = harness.exchange(b"");
+    assert!(
+        answer.starts_with("HTTP/1.1 503 ") && answer.contains("retry_after_ms"),
+        "{answer}"
+    );
+    drop(held);
+    wait_until("room", || {
+        harness
+            .exchange(b"GET /health HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
+            .contains("200 OK")
+    });
+}
--- a/crates/daemon/tests/http_texts.rs
+++ b/crates/daemon/tests/http_texts.rs
@@ -5,12 +5,12 @@
 use serde_json::{json, Value};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use support::{wait, Rig, FREE, LONG, PAID};
+use support::{wait_until, Harness, FREE, PAID, TEST_TIMEOUT};
 use texts::{masked, parsed, Texts, V1};
 
 fn body(address: SocketAddr, path: &str) -> String {
     let mut stream = TcpStream::connect(address).unwrap();
-    stream.set_read_timeout(Some(LONG)).unwrap();
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
     write!(
         stream,
         "GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
@@ -24,7 +24,7 @@
 /// Asks again until the body is as wanted.
 fn body_until(address: SocketAddr, path: &str, wanted: impl Fn(&Value) -> bool) -> String {
     let mut last = String::new();
-    wait(path, || {
+    wait_until(path, || {
         last = body(address, path);
         wanted(&parsed(&last))
     });
@@ -42,16 +42,18 @@
 
 #[test]
 fn health_has_the_same_text_while_ready_and_while_draining() {
-    let rig = Rig::new(&[]);
-    let address = rig.daemon.address();
+    let harness = Harness::new(&[]);
+    let address = harness.daemon.address();
     let mut player = Texts::connect(address, V1);
     player.open(1, "health-0001", FREE);
     let ready = r#"{"state":"ready","waiting":0,"playing":1,"connections":2}"#;
-    wait("the two connections", || body(address, "/health") == ready);
-    rig.modes(|mode| mode.hangs = true);
+    wait_until("the two connections", || body(address, "/health") == ready);
+    harness.set_modes(|mode| mode.hangs = true);
     player.call_open(2, "health-0002", PAID);
-    wait("its attempt to be out", || rig.of_key("health-0002").0 == 1);
-    rig.daemon.drain();
+    wait_until("its attempt to be out", || {
+        harness.set_ups_and_bills("health-0002").0 == 1
+    });
+    harness.daemon.drain();
     let draining = body_until(address, "/health", |h| h["state"] == "draining");
     assert_eq!(
         masked(&draining),
@@ -65,8 +67,8 @@
 
 #[test]
 fn paths_without_their_settings_are_problems() {
-    let rig = Rig::new(&[]);
-    let address = rig.daemon.address();
+    let harness = Harness::new(&[]);
+    let address = harness.daemon.address();
     assert_eq!(
         body(address, "/members"),
         r#"{"type":"about:blank","title":"Not Found","status":404,"detail":"this front has no peers in its configuration"}"#
@@ -91,8 +93,8 @@
              budget { from: \"south\" to: \"north\" rate: \"1kB/s\" burst: \"1B\" repay: \"1s\" }\nlog {",
         ),
     ];
-    let rig = Rig::with_tenant(&changes, "main");
-    let address = rig.daemon.address();
+    let harness = Harness::with_tenant(&changes, "main");
+    let address = harness.daemon.address();
     let mut player = Texts::connect(address, V1);
     let open = r#"{"jsonrpc":"2.0","id":1,"method":"session.open","params":{"key":"traffic-0001","class":"licensed-view","title":"clip-00","tenant":"main"}}"#;
     let opened = parsed(&player.ask(open));
@@ -126,8 +128,8 @@
     let dir = tempfile::tempdir().unwrap();
     let key = dir.path().join("key");
     std::fs::write(&key, "00112233445566778899aabbccddeeff").unwrap();
-    let rig = Rig::new(&[("log {", &peers("a", "", &key))]);
-    let address = rig.daemon.address();
+    let harness = Harness::new(&[("log {", &peers("a", "", &key))]);
+    let address = harness.daemon.address();
     let alone = body(address, "/members");
     let own = parsed(&alone)["address"].clone();
     let counted = r##""counted":{"accused":#,"bytes_sent":#,"dropped_garbage":#,"dropped_old_life":#,"dropped_other_fleet":#,"dropped_other_version":#,"dropped_stray":#,"forged":#,"name_conflicts":#,"not_answered_flood":#,"not_sent_budget":#}"##;
@@ -137,8 +139,8 @@
             r##"{{"name":"a","address":{own},"standing":"alone","members":[],"sent":#,"heard":#,"dropped":#,{counted},"turns":[]}}"##
         )
     );
-    let other = support::text(&[("log {", &peers("b", &format!("seed: {own}"), &key))]);
-    let other = support::front(&other, &rig.list.address, "");
+    let other = support::fleet_text(&[("log {", &peers("b", &format!("seed: {own}"), &key))]);
+    let other = support::front_text(&other, &harness.list.address, "");
     let other = Daemon::start(crankpaddle_config::parse(&other).unwrap()).unwrap();
     for (front, name, peer) in [(address, "a", "b"), (other.address(), "b", "a")] {
         let members = body_until(front, "/members", |m| {
@@ -163,8 +165,8 @@
     std::fs::write(&boot, "first").unwrap();
     let folder = dir.path().join("store");
     let store = format!("store {{ name: \"s\" dir: {folder:?} key_file: {key:?} boot_file: {boot:?} settle: \"20s\" calm: \"1ms\" }}\nlog {{");
-    let rig = Rig::new(&[("log {", &store)]);
-    let fleet = body_until(rig.daemon.address(), "/fleet", |f| {
+    let harness = Harness::new(&[("log {", &store)]);
+    let fleet = body_until(harness.daemon.address(), "/fleet", |f| {
         f["stage"] == "all" && f["store"] == "written"
     });
     assert_eq!(
--- a/crates/daemon/tests/paid.rs
+++ b/crates/daemon/tests/paid.rs
@@ -8,7 +8,7 @@
 use std::path::Path;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
-use support::{wait, Rig, Stage, FREE, PAID};
+use support::{wait_until, Backend, Harness, FREE, PAID};
 use tempfile::TempDir;
 
 fn config(dir: &Path, folder: &Path) -> String {
@@ -20,18 +20,19 @@
 }
 
 /// A front whose store is on such a disk.
-fn on(disk: &Poor) -> (Rig, TempDir) {
+fn on(disk: &Poor) -> (Harness, TempDir) {
     let dir = tempfile::tempdir().unwrap();
-    let stage = Stage::new(&[("log {", &config(dir.path(), &dir.path().join("store")))]);
+    let backend = Backend::new(&[("log {", &config(dir.path(), &dir.path().join("store")))]);
     let disk = disk.clone();
-    let daemon =
-        crankpaddle_daemon::Daemon::start_on(stage.front(), |boot| Store::open_backend(disk, boot))
-            .unwrap();
-    (Rig::of(stage, daemon, ""), dir)
+    let daemon = crankpaddle_daemon::Daemon::start_on(backend.front_config(), |boot| {
+        Store::open_backend(disk, boot)
+    })
+    .unwrap();
+    (Harness::with_front(backend, daemon, ""), dir)
 }
 
-fn store_state(rig: &Rig) -> String {
-    let mut stream = rig.raw();
+fn store_state(harness: &Harness) -> String {
+    let mut stream = harness.connect();
     stream
         .write_all(b"GET /fleet HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
         .unwrap();
@@ -47,66 +48,72 @@
 #[test]
 fn a_paid_set_up_leaves_when_it_is_on_disk_and_free_ones_never_wait() {
     let disk = Poor::new();
-    let (rig, _dir) = on(&disk);
+    let (harness, _dir) = on(&disk);
     disk.slow.store(400, Ordering::Release);
-    let (mut payer, mut other) = (rig.player(), rig.player());
-    let asked = Instant::now();
-    payer.open("slow-paid", PAID);
+    let (mut payer, mut other) = (harness.connect_player(), harness.connect_player());
+    let started_at = Instant::now();
+    payer.call_open("slow-paid", PAID);
     assert!(matches!(
         other.open_and_wait("quick-free", FREE).1,
         ClientEvent::Plays { .. }
     ));
     assert_eq!(
-        rig.of_key("slow-paid").0,
+        harness.set_ups_and_bills("slow-paid").0,
         0,
         "nothing of it left yet; the free one plays after {:?}",
-        asked.elapsed()
+        started_at.elapsed()
     );
-    assert!(matches!(payer.hear(), ClientEvent::Plays { .. }));
-    assert!(asked.elapsed() >= Duration::from_millis(400));
-    assert_eq!(rig.of_key("slow-paid"), (1, 1));
+    assert!(matches!(payer.receive(), ClientEvent::Plays { .. }));
+    assert!(started_at.elapsed() >= Duration::from_millis(400));
+    assert_eq!(harness.set_ups_and_bills("slow-paid"), (1, 1));
 }
 
 #[test]
 fn a_disk_slower_than_a_viewers_patience_makes_a_refusal_and_nothing_leaves() {
     let disk = Poor::new();
-    let (rig, _dir) = on(&disk);
+    let (harness, _dir) = on(&disk);
     disk.slow.store(2500, Ordering::Release);
-    let mut payer = rig.player();
-    let asked = Instant::now();
-    let (_, said) = payer.open_and_wait("too-slow", PAID);
+    let mut payer = harness.connect_player();
+    let started_at = Instant::now();
+    let (_, event) = payer.open_and_wait("too-slow", PAID);
     assert!(
-        asked.elapsed() < Duration::from_millis(1500),
+        started_at.elapsed() < Duration::from_millis(1500),
         "its viewer waits 1.5 s"
     );
-    assert!(matches!(said, ClientEvent::Refused { .. }), "{said:?}");
+    assert!(matches!(event, ClientEvent::Refused { .. }), "{event:?}");
     // The disk is done with it by then, and it does not leave after all.
     let syncs = disk.syncs.load(Ordering::Acquire);
-    wait("the disk", || disk.syncs.load(Ordering::Acquire) > syncs);
+    wait_until("the disk", || disk.syncs.load(Ordering::Acquire) > syncs);
     assert!(matches!(
-        rig.player().open_and_wait("another-free", FREE).1,
+        harness
+            .connect_player()
+            .open_and_wait("another-free", FREE)
+            .1,
         ClientEvent::Plays { .. }
     ));
-    assert_eq!(rig.of_key("too-slow"), (0, 0));
+    assert_eq!(harness.set_ups_and_bills("too-slow"), (0, 0));
 }
 
 #[test]
 fn a_full_disk_sells_nothing_and_serves_free_classes_and_sells_again_with_room() {
     let disk = Poor::new();
-    let (rig, _dir) = on(&disk);
-    let mut player = rig.player();
+    let (harness, _dir) = on(&disk);
+    let mut player = harness.connect_player();
     assert!(matches!(
         player.open_and_wait("before-full", PAID).1,
         ClientEvent::Plays { .. }
     ));
     disk.full.store(true, Ordering::Release);
-    let (_, said) = player.open_and_wait("while-full", PAID);
+    let (_, event) = player.open_and_wait("while-full", PAID);
     assert!(
-        matches!(said, ClientEvent::Refused { .. }),
-        "nothing ran: {said:?}"
+        matches!(event, ClientEvent::Refused { .. }),
+        "nothing ran: {event:?}"
     );
     assert_eq!(
-        (rig.of_key("while-full"), store_state(&rig).as_str()),
+        (
+            harness.set_ups_and_bills("while-full"),
+            store_state(&harness).as_str()
+        ),
         ((0, 0), "failing")
     );
     assert!(matches!(
@@ -114,17 +121,17 @@
         ClientEvent::Plays { .. }
     ));
     disk.full.store(false, Ordering::Release);
-    wait("room to be found", || {
-        let mut player = rig.player();
+    wait_until("room to be found", || {
+        let mut player = harness.connect_player();
         matches!(
             player
-                .open_and_wait(&format!("again-{}", rig.seen(|_| true)), PAID)
+                .open_and_wait(&format!("again-{}", harness.count_seen(|_| true)), PAID)
                 .1,
             ClientEvent::Plays { .. }
         )
     });
-    assert_eq!(store_state(&rig), "written");
-    assert_eq!(rig.seen(|s| matches!(s, Seen::Fell { .. })), 0);
+    assert_eq!(store_state(&harness), "written");
+    assert_eq!(harness.count_seen(|s| matches!(s, Seen::Fell { .. })), 0);
 }
 
 #[test]
@@ -137,14 +144,14 @@
     std::os::unix::fs::symlink("/dev/full", full.join("front.redb")).unwrap();
     std::fs::write(full.join("VERSION"), "1\n").unwrap();
     for folder in [dir.path().join("file/below"), full] {
-        let rig = Rig::new(&[("log {", &config(dir.path(), &folder))]);
-        assert_eq!(store_state(&rig), "unusable", "{folder:?}");
-        let mut player = rig.player();
+        let harness = Harness::new(&[("log {", &config(dir.path(), &folder))]);
+        assert_eq!(store_state(&harness), "unusable", "{folder:?}");
+        let mut player = harness.connect_player();
         assert!(matches!(
             player.open_and_wait("paid-without", PAID).1,
             ClientEvent::Refused { .. }
         ));
-        assert_eq!(rig.of_key("paid-without"), (0, 0));
+        assert_eq!(harness.set_ups_and_bills("paid-without"), (0, 0));
         assert!(matches!(
             player.open_and_wait("free-without", FREE).1,
             ClientEvent::Plays { .. }
--- a/crates/daemon/tests/player_texts.rs
+++ b/crates/daemon/tests/player_texts.rs
@@ -2,15 +2,15 @@
 mod support;
 mod texts;
 use serde_json::json;
-use support::{wait, Rig, FREE, PAID};
+use support::{wait_until, Harness, FREE, PAID};
 use texts::{masked, parsed, Texts, V1};
 
 const V2: &str = "session.v2.jsonrpc";
 
 #[test]
 fn sessions_are_opened_resumed_and_closed_with_exact_texts() {
-    let rig = Rig::new(&[]);
-    let address = rig.daemon.address();
+    let harness = Harness::new(&[]);
+    let address = harness.daemon.address();
     let mut player = Texts::connect(address, V1);
     let opened = player.ask(r#"{"jsonrpc":"2.0","id":"one","method":"session.open","params":{"key":"exact-0001","class":"preview","title":"clip-00"}}"#);
     let value = parsed(&opened);
@@ -56,8 +56,8 @@
 
 #[test]
 fn calls_that_are_wrong_get_exact_texts() {
-    let rig = Rig::new(&[]);
-    let mut player = Texts::connect(rig.daemon.address(), V2);
+    let harness = Harness::new(&[]);
+    let mut player = Texts::connect(harness.daemon.address(), V2);
     for (call, wanted) in [
         (
             r#"{"jsonrpc":"2.0","id":3,"method":"session.close","params":{"session":"s-9"}}"#,
@@ -98,8 +98,8 @@
 
 #[test]
 fn failures_of_paid_sessions_have_exact_texts() {
-    let rig = Rig::new(&[]);
-    let address = rig.daemon.address();
+    let harness = Harness::new(&[]);
+    let address = harness.daemon.address();
     let mut player = Texts::connect(address, V1);
     let opened = parsed(&player.open(1, "spent-0001", PAID));
     let close = json!({"jsonrpc": "2.0", "id": 2, "method": "session.close", "params": {"session": opened["result"]["session"]}});
@@ -111,14 +111,16 @@
         player.open(3, "spent-0001", PAID),
         r#"{"error":{"code":-32002,"data":{"reason":"key_spent"},"message":"failed"},"id":3,"jsonrpc":"2.0"}"#
     );
-    rig.modes(|mode| mode.errors = 1.0);
+    harness.set_modes(|mode| mode.errors = 1.0);
     assert_eq!(
         player.open(4, "error-0001", PAID),
         r#"{"error":{"code":-32002,"data":{"reason":"server_error"},"message":"failed"},"id":4,"jsonrpc":"2.0"}"#
     );
-    rig.modes(|mode| (mode.errors, mode.hangs) = (0.0, true));
+    harness.set_modes(|mode| (mode.errors, mode.hangs) = (0.0, true));
     player.call_open(5, "hangs-0001", PAID);
-    wait("its attempt to be out", || rig.of_key("hangs-0001").0 == 1);
+    wait_until("its attempt to be out", || {
+        harness.set_ups_and_bills("hangs-0001").0 == 1
+    });
     let mut other = Texts::connect(address, V1);
     other.call_open(6, "hangs-0001", PAID);
     assert_eq!(
@@ -133,8 +135,8 @@
 
 #[test]
 fn notices_and_refusals_have_exact_texts() {
-    let rig = Rig::new(&[]);
-    let mut player = Texts::connect(rig.daemon.address(), V1);
+    let harness = Harness::new(&[]);
+    let mut player = Texts::connect(harness.daemon.address(), V1);
     for id in 1..7 {
         player.open(id, &format!("crowded-{id:04}"), FREE);
     }
@@ -146,22 +148,22 @@
         );
         assert_eq!(masked(text), wanted);
     };
-    rig.fleet.set_slow(8.0);
+    harness.fleet.set_slow(8.0);
     notice(&player.read_until("\"session.rung\""), r##""rung":#"##);
-    rig.fleet.set_slow(1.0);
-    (0..12).for_each(|id| rig.fleet.end_sessions(id, true));
+    harness.fleet.set_slow(1.0);
+    (0..12).for_each(|id| harness.fleet.end_sessions(id, true));
     notice(
         &player.read_until("\"session.end\""),
         r#""reason":"finished""#,
     );
     player.open(8, "lost-00001", FREE);
-    (0..12).for_each(|id| rig.fleet.crash(id));
+    (0..12).for_each(|id| harness.fleet.crash(id));
     notice(
         &player.read_until("\"server_lost\""),
         r##""reason":"server_lost","retry_after_ms":#"##,
     );
     let (mut id, mut refused) = (8, String::new());
-    wait("the front to have no server left", || {
+    wait_until("the front to have no server left", || {
         id += 1;
         refused = player.open(id, &format!("none-{id:05}"), FREE);
         refused.contains("\"no_room\"")
--- /dev/null
+++ b/crates/daemon/tests/support/player.rs
@@ -0,0 +1,100 @@
+//! A player of the session API's first version.
+use super::TEST_TIMEOUT;
+use crankpaddle_session_api::client::{self, ClientEvent};
+use crankpaddle_session_api::methods::Open;
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+use tungstenite::client::IntoClientRequest;
+use tungstenite::{Message, WebSocket};
+
+/// A player on a blocking socket.
+pub(crate) struct Player {
+    pub socket: WebSocket<TcpStream>,
+    calls: u64,
+    pub tenant: Option<String>,
+}
+
+impl Player {
+    pub(crate) fn connect(address: SocketAddr) -> Player {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+        let mut request = format!("ws://{address}/session")
+            .into_client_request()
+            .unwrap();
+        request.headers_mut().insert(
+            "sec-websocket-protocol",
+            "session.v1.jsonrpc".parse().unwrap(),
+        );
+        let (socket, answer) = tungstenite::client::client(request, stream).unwrap();
+        assert_eq!(
+            answer.headers()["sec-websocket-protocol"],
+            "session.v1.jsonrpc"
+        );
+        Player {
+            socket,
+            calls: 0,
+            tenant: None,
+        }
+    }
+
+    pub(crate) fn send(&mut self, text: impl Into<String>) {
+        self.socket.send(Message::text(text.into())).unwrap();
+    }
+
+    /// Calls for a session with this title; returns the call's number.
+    pub(crate) fn call_open_title(&mut self, key: &str, class: &str, title: &str) -> u64 {
+        self.calls += 1;
+        let open = Open {
+            key: key.into(),
+            title: title.into(),
+            class: class.into(),
+            tenant: self.tenant.clone(),
+            ..Open::default()
+        };
+        self.send(client::open(self.calls, &open));
+        self.calls
+    }
+
+    /// Calls for a session; returns the call's number.
+    pub(crate) fn call_open(&mut self, key: &str, class: &str) -> u64 {
+        self.call_open_title(key, class, "clip-03")
+    }
+
+    pub(crate) fn receive(&mut self) -> ClientEvent {
+        loop {
+            match self.socket.read().unwrap() {
+                Message::Text(text) => return client::read(&text).unwrap().remove(0),
+                Message::Close(_) => panic!("closed"),
+                _ => {}
+            }
+        }
+    }
+
+    /// Calls for a session; returns the call's number and the next event.
+    pub(crate) fn open_and_wait(&mut self, key: &str, class: &str) -> (u64, ClientEvent) {
+        let call = self.call_open(key, class);
+        (call, self.receive())
+    }
+
+    pub(crate) fn close_session(&mut self, session: &str) -> ClientEvent {
+        self.calls += 1;
+        let text = client::close(self.calls, session);
+        self.send(text);
+        loop {
+            match self.receive() {
+                ClientEvent::Rung { .. } => {}
+                event => return event,
+            }
+        }
+    }
+
+    /// Whether nothing more comes within a time; only to check what must not come.
+    pub(crate) fn is_silent(&mut self, time: Duration) -> bool {
+        self.socket.get_ref().set_read_timeout(Some(time)).unwrap();
+        let is_silent = matches!(self.socket.read(), Err(tungstenite::Error::Io(e)) if e.kind() == ErrorKind::WouldBlock);
+        let stream = self.socket.get_ref();
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+        is_silent
+    }
+}
--- a/crates/daemon/tests/texts/mod.rs
+++ b/crates/daemon/tests/texts/mod.rs
@@ -1,5 +1,5 @@
 //! A player that sees texts as they are, and texts with their numbers masked.
-use crate::support::LONG;
+use crate::support::TEST_TIMEOUT;
 use serde_json::{json, Value};
 use std::net::{SocketAddr, TcpStream};
 use tungstenite::client::IntoClientRequest;
@@ -41,7 +41,7 @@
 impl Texts {
     pub(crate) fn connect(address: SocketAddr, version: &str) -> Texts {
         let stream = TcpStream::connect(address).unwrap();
-        stream.set_read_timeout(Some(LONG)).unwrap();
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
         let mut request = format!("ws://{address}/session")
             .into_client_request()
             .unwrap();
--- a/crates/daemon/tests/traffic.rs
+++ b/crates/daemon/tests/traffic.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
-use support::{wait, Rig, FREE, LONG, PAID};
+use support::{wait_until, Harness, FREE, PAID, TEST_TIMEOUT};
 
 /// A budget of which one session is more than all.
 const TIGHT: (&str, &str) = (
@@ -19,7 +19,7 @@
 );
 
 fn report(address: SocketAddr) -> TrafficReport {
-    crankpaddle_traffic_report::fetch(&address, LONG).unwrap()
+    crankpaddle_traffic_report::fetch(&address, TEST_TIMEOUT).unwrap()
 }
 
 /// Fetches media until some of it has come, and breaks off.
@@ -46,13 +46,13 @@
 }
 
 /// Plays sessions of a class one by one; gives the servers that they came to.
-fn servers(rig: &Rig, class: &str, name: &str, count: usize) -> Vec<u32> {
-    let mut player = rig.player();
+fn servers(harness: &Harness, class: &str, name: &str, count: usize) -> Vec<u32> {
+    let mut player = harness.connect_player();
     let mut all = Vec::new();
     for n in 0..count {
-        let call = player.open_for(&format!("{name}-{n:04}"), class, "clip-00");
+        let call = player.call_open_title(&format!("{name}-{n:04}"), class, "clip-00");
         loop {
-            match player.hear() {
+            match player.receive() {
                 ClientEvent::Plays { id, media, .. } if id == call => {
                     let address = media
                         .trim_start_matches("http://")
@@ -60,7 +60,7 @@
                         .next()
                         .unwrap()
                         .to_owned();
-                    let server = rig
+                    let server = harness
                         .fleet
                         .servers
                         .iter()
@@ -81,62 +81,71 @@
 
 #[test]
 fn previews_stay_at_home_beyond_the_budget_and_paid_sessions_go_where_there_is_room() {
-    let rig = Rig::new(&[TIGHT]);
+    let harness = Harness::new(&[TIGHT]);
     // Uneven servers are in the south. One session that crosses uses the budget up, whichever class it has.
     let south = |id: &u32| id % 2 == 1;
-    let first = servers(&rig, FREE, "before", 12);
+    let first = servers(&harness, FREE, "before", 12);
     assert!(
         first.iter().filter(|id| south(id)).count() <= 1,
         "{first:?}"
     );
-    wait("the budget to be told as used up or not needed", || {
-        report(rig.daemon.address()).budgets.len() == 1
+    wait_until("the budget to be told as used up or not needed", || {
+        report(harness.daemon.address()).budgets.len() == 1
     });
     // The hall of the north is lost for this title's viewers: previews get nothing, paid service crosses.
     for id in (0..12).filter(|id| !south(id)) {
-        rig.fleet.crash(id);
-        let address = rig.fleet.servers[id as usize].address;
-        rig.list
-            .change(entry(&rig.config, id, address, EndpointState::Gone, 0));
+        harness.fleet.crash(id);
+        let address = harness.fleet.servers[id as usize].address;
+        harness
+            .list
+            .change(entry(&harness.config, id, address, EndpointState::Gone, 0));
     }
-    wait("the sessions to be over", || rig.daemon.counts() == (0, 0));
-    wait("the front to know that its hall is gone", || {
-        servers(&rig, PAID, &format!("probing-{}", rig.seen(|_| true)), 1);
-        report(rig.daemon.address()).budgets[0].overdraft_hall_lost_bytes > 0
+    wait_until("the sessions to be over", || {
+        harness.daemon.counts() == (0, 0)
     });
-    let paid = servers(&rig, PAID, "paid", 6);
+    wait_until("the front to know that its hall is gone", || {
+        servers(
+            &harness,
+            PAID,
+            &format!("probing-{}", harness.count_seen(|_| true)),
+            1,
+        );
+        report(harness.daemon.address()).budgets[0].overdraft_hall_lost_bytes > 0
+    });
+    let paid = servers(&harness, PAID, "paid", 6);
     assert!(paid.len() == 6 && paid.iter().all(south), "{paid:?}");
-    let previews = servers(&rig, FREE, "held", 6);
+    let previews = servers(&harness, FREE, "held", 6);
     assert!(previews.is_empty(), "{previews:?}");
-    assert_eq!(rig.verdict().breaches, []);
+    assert_eq!(harness.verdict().breaches, []);
 }
 
 #[test]
 fn without_a_budget_previews_cross_as_before() {
-    let rig = Rig::new(&[]);
-    let all = servers(&rig, FREE, "free", 12);
+    let harness = Harness::new(&[]);
+    let all = servers(&harness, FREE, "free", 12);
     assert!(all.iter().any(|id| id % 2 == 1), "{all:?}");
-    assert!(report(rig.daemon.address()).budgets.is_empty());
+    assert!(report(harness.daemon.address()).budgets.is_empty());
 }
 
 #[test]
 fn what_a_front_reports_is_what_the_servers_logged_to_the_byte() {
-    let rig = Rig::new(&[]);
-    servers(&rig, FREE, "one", 4);
-    servers(&rig, PAID, "two", 4);
+    let harness = Harness::new(&[]);
+    servers(&harness, FREE, "one", 4);
+    servers(&harness, PAID, "two", 4);
     // Some media is fetched, and cut off within a segment.
-    let mut player = rig.player();
-    let (_, said) = player.open_and_wait("fetched-1", FREE);
-    let ClientEvent::Plays { media, session, .. } = said else {
-        panic!("{said:?}")
+    let mut player = harness.connect_player();
+    let (_, event) = player.open_and_wait("fetched-1", FREE);
+    let ClientEvent::Plays { media, session, .. } = event else {
+        panic!("{event:?}")
     };
     fetch_some(&media);
     player.close_session(&session);
-    wait("all to be settled", || {
-        rig.daemon.counts() == (0, 0) && report(rig.daemon.address()).unsettled_sessions == 0
+    wait_until("all to be settled", || {
+        harness.daemon.counts() == (0, 0)
+            && report(harness.daemon.address()).unsettled_sessions == 0
     });
-    let logged = crossed(&rig.recorder.all(), &rig.config);
-    let told = report(rig.daemon.address());
+    let logged = crossed(&harness.recorder.all(), &harness.config);
+    let told = report(harness.daemon.address());
     assert!(logged.bytes.values().sum::<u64>() > 0);
     for ((from, to, class), bytes) in &logged.bytes {
         let of = |f: &&crankpaddle_cross_zone_traffic::report::FlowReport| {
@@ -151,9 +160,9 @@
 fn an_account_is_kept_over_a_restart_and_a_broken_one_is_not_begun_anew() {
     let kept = file();
     let named = format!("front {{\n  traffic_file: {:?}", kept.to_str().unwrap());
-    let rig = Rig::new(&[]);
+    let harness = Harness::new(&[]);
     let start = || {
-        let text = support::front(&support::text(&[]), &rig.list.address, "")
+        let text = support::front_text(&support::fleet_text(&[]), &harness.list.address, "")
             .replacen("front {", &named, 1);
         Daemon::start(crankpaddle_config::parse(&text).unwrap())
     };
@@ -172,7 +181,7 @@
     };
     fetch_some(&media);
     player.socket.close(None).unwrap();
-    wait("its bytes to be told", || {
+    wait_until("its bytes to be told", || {
         total(&report(first.address())) > 0 && report(first.address()).unsettled_sessions == 0
     });
     let before = report(first.address());
@@ -184,7 +193,7 @@
     second.drain();
     second.wait();
     std::fs::write(&kept, "{\"front\":").unwrap();
-    let said = start().map(|_| ()).unwrap_err().to_string();
-    assert!(said.contains("no account of traffic"), "{said}");
+    let event = start().map(|_| ()).unwrap_err().to_string();
+    assert!(event.contains("no account of traffic"), "{event}");
     std::fs::remove_file(&kept).unwrap();
 }
