Daemon: the phase of recovery is an enum that owns what it defers

Cause: a flag and two lists had to agree: lists and found sessions wait only while the front reconciles. Change: RecoveryPhase::Reconciling holds them, Resumed holds nothing; found sessions are adopted one by one.

--- a/crates/daemon/src/event_loop/durable_state.rs
+++ b/crates/daemon/src/event_loop/durable_state.rs
@@ -23,6 +23,21 @@
     pub(super) session: InventorySession,
 }
 
+/// What waits until service resumes.
+#[derive(Default)]
+pub(super) struct Deferred {
+    pub(super) lists: Vec<DeferredList>,
+    pub(super) sessions: Vec<FoundSession>,
+}
+
+/// How far the return to service is, as far as the event loop acts on it.
+pub(super) enum RecoveryPhase {
+    /// It is not known yet what previous incarnations left at servers.
+    Reconciling(Deferred),
+    /// Lists and found sessions are handled as they come.
+    Resumed,
+}
+
 /// State of paid set-ups, in memory and in the store.
 pub(super) struct DurableState {
     pub(super) ledger: IntentLedger,
@@ -35,16 +50,12 @@
     pub(super) previous_uptime_ms: u64,
     /// Set-ups that are sent when their intent is on disk.
     pub(super) pending_sends: HashMap<AttemptId, SetUpRequest>,
-    pub(super) deferred_lists: Vec<DeferredList>,
-    /// Found before service resumed.
-    pub(super) found_sessions: Vec<FoundSession>,
+    pub(super) phase: RecoveryPhase,
     /// Passed to the core, which has not decided yet; by token.
     pub(super) sessions_in_adoption: HashMap<u64, FoundSession>,
     pub(super) last_token: u64,
     /// When servers started, by the age that their inventories state.
     pub(super) server_starts: BTreeMap<ServerId, u64>,
-    /// Service has not resumed yet: lists and found sessions are deferred.
-    pub(super) is_reconciling: bool,
     pub(super) maintenance_rounds: u64,
     pub(super) stored_fleet_size: u32,
     /// The part of the status that does not change in this incarnation.
@@ -68,6 +79,10 @@
         }
     }
 
+    pub(super) fn is_reconciling(&self) -> bool {
+        matches!(self.phase, RecoveryPhase::Reconciling(_))
+    }
+
     /// Uptime of all incarnations together, milliseconds.
     pub(super) fn uptime_ms(&self) -> u64 {
         self.previous_uptime_ms + clock::now().saturating_sub(self.started_at) / MILLISECOND
--- a/crates/daemon/src/event_loop/previous_incarnation.rs
+++ b/crates/daemon/src/event_loop/previous_incarnation.rs
@@ -1,5 +1,5 @@
 //! The start from a store: what the previous incarnations of this front left is passed to the core.
-use super::durable_state::DurableState;
+use super::durable_state::{Deferred, DurableState, RecoveryPhase};
 use super::{EventLoop, MILLISECOND};
 use crate::config_lookup::{index_of, tenant_index};
 use crate::message::Message;
@@ -61,12 +61,10 @@
             started_at: now,
             previous_uptime_ms: recovered.uptime_ms.0,
             pending_sends: HashMap::new(),
-            deferred_lists: Vec::new(),
-            found_sessions: Vec::new(),
+            phase: first_phase(recovered.shutdown),
             sessions_in_adoption: HashMap::new(),
             last_token: 0,
             server_starts: BTreeMap::new(),
-            is_reconciling: recovered.shutdown != PreviousShutdown::Clean,
             maintenance_rounds: 0,
             stored_fleet_size: 0,
             base_status: Fleet {
@@ -140,6 +138,16 @@
     }
 }
 
+/// After a clean shutdown nothing is left at servers.
+fn first_phase(shutdown: PreviousShutdown) -> RecoveryPhase {
+    match shutdown {
+        PreviousShutdown::Clean => RecoveryPhase::Resumed,
+        PreviousShutdown::Unknown | PreviousShutdown::Killed | PreviousShutdown::PowerLost => {
+            RecoveryPhase::Reconciling(Deferred::default())
+        }
+    }
+}
+
 /// How the previous incarnation ended, in the terms of `GET /fleet`.
 fn shutdown_status(shutdown: PreviousShutdown) -> Former {
     match shutdown {
--- a/crates/daemon/src/event_loop/reconciliation.rs
+++ b/crates/daemon/src/event_loop/reconciliation.rs
@@ -1,6 +1,6 @@
 //! Reconciliation with the servers: which set-ups of a previous incarnation ran, and which sessions still
 //! play.
-use super::durable_state::{DeferredList, FoundSession};
+use super::durable_state::{DeferredList, DurableState, FoundSession, RecoveryPhase};
 use super::{EventLoop, MILLISECOND};
 use crate::inventory_client;
 use crankpaddle_front::{
@@ -18,10 +18,10 @@
         let Some(durable) = &mut self.durable else {
             return false;
         };
-        if !durable.is_reconciling {
+        let RecoveryPhase::Reconciling(deferred) = &mut durable.phase else {
             return false;
-        }
-        durable.deferred_lists.push(DeferredList {
+        };
+        deferred.lists.push(DeferredList {
             kind,
             endpoints: listed.to_vec(),
         });
@@ -78,7 +78,7 @@
 
     fn check_reconciliation_complete(&mut self) {
         let Some(durable) = &self.durable else { return };
-        if durable.is_reconciling && durable.reconciliation.is_complete() {
+        if durable.is_reconciling() && durable.reconciliation.is_complete() {
             self.handle_core_input(Input::ReconciliationCompleted);
         }
     }
@@ -145,7 +145,7 @@
             return;
         };
         let is_first = durable.server_starts.insert(server, started_at).is_none();
-        if is_first && !durable.is_reconciling {
+        if is_first && !durable.is_reconciling() {
             self.server_started(server, started_at);
         }
     }
@@ -212,7 +212,7 @@
     pub(super) fn recovery_stage_reached(&mut self, stage: RecoveryStage, evidence: StageEvidence) {
         tracing::info!(?stage, reason = ?evidence, "recovery stage reached");
         let durable = self.durable.as_ref();
-        let is_reconciling = durable.is_some_and(|durable| durable.is_reconciling);
+        let is_reconciling = durable.is_some_and(DurableState::is_reconciling);
         if is_reconciling && stage >= RecoveryStage::PaidOnly {
             self.resume_service();
         }
@@ -224,14 +224,16 @@
         let Some(durable) = &mut self.durable else {
             return;
         };
-        durable.is_reconciling = false;
-        let lists = std::mem::take(&mut durable.deferred_lists);
+        let phase = std::mem::replace(&mut durable.phase, RecoveryPhase::Resumed);
+        let RecoveryPhase::Reconciling(deferred) = phase else {
+            return;
+        };
         let server_starts = durable.server_starts.clone();
         let now = Time(clock::now());
         for DeferredList {
             kind,
             mut endpoints,
-        } in lists
+        } in deferred.lists
         {
             for endpoint in &mut endpoints {
                 // Why: after a power loss each server is warming up, while a cached list says that it started
@@ -243,7 +245,9 @@
             self.handle_core_input(Input::EndpointList(kind, endpoints));
         }
         self.expire_unresolved_keys();
-        self.adopt_found_sessions();
+        for found in deferred.sessions {
+            self.adopt_found_session(found);
+        }
         self.handle_core_input(Input::ServiceResumed);
     }
 }
--- a/crates/daemon/src/event_loop/session_adoption.rs
+++ b/crates/daemon/src/event_loop/session_adoption.rs
@@ -1,5 +1,5 @@
 //! Adoption of sessions that a previous incarnation established and that still play at their servers.
-use super::durable_state::FoundSession;
+use super::durable_state::{FoundSession, RecoveryPhase};
 use super::EventLoop;
 use crate::config_lookup::{index_of, is_paid_class, tenant_index};
 use crankpaddle_front::{AttemptId, Input, OpenRequest, ServerId, SessionUpdate, SetUpOrder};
@@ -17,32 +17,25 @@
         let Some(durable) = &mut self.durable else {
             return;
         };
-        durable.found_sessions.push(found);
-        if !durable.is_reconciling {
-            self.adopt_found_sessions();
+        match &mut durable.phase {
+            RecoveryPhase::Reconciling(deferred) => deferred.sessions.push(found),
+            RecoveryPhase::Resumed => self.adopt_found_session(found),
         }
     }
 
-    /// Offers the found sessions to the core; those that the configuration does not cover any more are ended.
-    pub(super) fn adopt_found_sessions(&mut self) {
-        let Some(durable) = &mut self.durable else {
-            return;
-        };
-        for found in std::mem::take(&mut durable.found_sessions) {
-            match self.open_request(&found.session) {
-                Some(open) => self.offer_found_session(found, open),
-                None => {
-                    tracing::warn!(
-                        server_id = found.server.0,
-                        class = found.session.class,
-                        title = found.session.title,
-                        reason = "its class, tenant or title is not configured",
-                        "found session torn down"
-                    );
-                    self.tear_down_found_session(found.server, &found.session.name);
-                }
-            }
+    /// Offers a found session to the core; one that the configuration does not cover any more is ended.
+    pub(super) fn adopt_found_session(&mut self, found: FoundSession) {
+        if let Some(open) = self.open_request(&found.session) {
+            return self.offer_found_session(found, open);
         }
+        tracing::warn!(
+            server_id = found.server.0,
+            class = found.session.class,
+            title = found.session.title,
+            reason = "its class, tenant or title is not configured",
+            "found session torn down"
+        );
+        self.tear_down_found_session(found.server, &found.session.name);
     }
 
     /// The request that a found session answers, as far as the server knows it; `None` where a name is not
--- a/crates/daemon/src/membership_runner.rs
+++ b/crates/daemon/src/membership_runner.rs
@@ -255,6 +255,7 @@
         }
     }
 
+    /// Logs a change. The field `by` and the names of the states are read by `crates/cli/tests/fleet.rs`.
     fn member_changed(&mut self, change: MemberChange) {
         let state = change.state;
         match state {
