--- /dev/null
+++ b/crates/daemon/src/list_service_client.rs
@@ -0,0 +1,127 @@
+//! The subscription to the list service, and the copy of the list on disk that a front starts from without
+//! the service.
+use crate::errors::{SavedFileError, StartError};
+use crate::message::Message;
+use crate::shared::Shared;
+use crankpaddle_config::Config;
+use crankpaddle_net::exchange::{Events, ExchangeError, HttpExchange};
+use crankpaddle_net::{clock, sleep, spawn, Socket, Stack};
+use crankpaddle_server_protocol::list::{self, CachedEndpoints};
+use std::fs;
+use std::io;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+const MILLISECOND: u64 = 1_000_000;
+/// Backoff after the first failed call, nanoseconds; half of it is drawn, so that fronts do not call
+/// together.
+const FIRST_BACKOFF: u64 = 100 * MILLISECOND;
+/// Longest backoff, nanoseconds.
+const LONGEST_BACKOFF: u64 = 2000 * MILLISECOND;
+/// Doublings of the backoff that are computed at most: beyond them it is the longest in any case.
+const MOST_DOUBLINGS: u32 = 8;
+/// The status of a response that carries a stream of lists.
+const OK: u16 = 200;
+
+/// The service can't be reached, or sent nothing that could be read.
+struct NoListReceived;
+
+/// The list as a previous incarnation saved it, if there is one. A malformed copy is ignored: the service
+/// sends another.
+///
+/// # Errors
+/// The file can't be read.
+pub(crate) fn load_cached_list(config: &Config) -> Result<Option<CachedEndpoints>, StartError> {
+    let Some(path) = &config.list_cache else {
+        return Ok(None);
+    };
+    let text = match fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(error) => {
+            return Err(StartError::SavedFile {
+                path: path.clone(),
+                source: SavedFileError::Read(error),
+            });
+        }
+    };
+    match CachedEndpoints::from_text(&text) {
+        Ok(endpoints) => Ok(Some(endpoints)),
+        Err(reason) => {
+            tracing::warn!(path = %path.display(), %reason, "cached endpoint list ignored");
+            Ok(None)
+        }
+    }
+}
+
+/// Follows the service until `is_stopped`.
+pub(crate) fn follow(shared: Arc<Shared>, is_stopped: Arc<AtomicBool>) {
+    spawn(Stack::Usual, move || {
+        let mut consecutive_failures = 0u32;
+        while !is_stopped.load(Ordering::Acquire) {
+            let result = subscribe(&shared);
+            shared.send(Message::EndpointListUnavailable);
+            consecutive_failures = match result {
+                Ok(()) => 0,
+                Err(NoListReceived) => consecutive_failures + 1,
+            };
+            sleep(backoff(consecutive_failures));
+        }
+    });
+}
+
+fn backoff(consecutive_failures: u32) -> Duration {
+    let doublings = consecutive_failures.min(MOST_DOUBLINGS);
+    let longest = FIRST_BACKOFF
+        .saturating_mul(1 << doublings)
+        .min(LONGEST_BACKOFF);
+    Duration::from_nanos(rand::random_range(longest / 2..=longest))
+}
+
+/// Receives lists until the stream ends; `Ok` if at least one came.
+fn subscribe(shared: &Shared) -> Result<(), NoListReceived> {
+    let mut events = open_stream(shared).ok_or(NoListReceived)?;
+    let mut result = Err(NoListReceived);
+    loop {
+        let event = match events.next() {
+            Ok(event) => event,
+            Err(error) => {
+                if let ExchangeError::Bad(reason) = error {
+                    tracing::warn!(%reason, "list service stream malformed");
+                }
+                return result;
+            }
+        };
+        match list::read(&event) {
+            Ok(Some((kind, list))) => {
+                result = Ok(());
+                shared.send(Message::EndpointListReceived { kind, list });
+            }
+            Ok(None) => {} // A kind that a later release of the service sends.
+            // Why it ends here: after a change that can't be read, later ones would apply to the wrong list.
+            // The next call gets a complete one.
+            Err(reason) => {
+                tracing::warn!(%reason, "list service stream malformed");
+                return result;
+            }
+        }
+    }
+}
+
+fn open_stream(shared: &Shared) -> Option<Events> {
+    let address = shared.config.list_service;
+    let socket = Socket::connect(&address, shared.connect_timeout()).ok()?;
+    let socket = Arc::new(socket);
+    let silence_timeout = shared.limits().silence;
+    socket.set_expiry(clock::now().saturating_add(silence_timeout));
+    shared.server_sweeper.watch(&socket);
+    let request = list::subscribe(&address.to_string(), shared.names.front());
+    socket.write_all(&request).ok()?;
+    let mut exchange = HttpExchange::new(socket);
+    let head = exchange.response_head().ok()?;
+    if head.status != OK {
+        return None;
+    }
+    exchange.events(&head, silence_timeout).ok()
+}
--- /dev/null
+++ b/crates/daemon/src/membership_runner.rs
@@ -0,0 +1,286 @@
+//! The membership of the fleet, over UDP: one coroutine reads datagrams, one owns the state machine and
+//! sends.
+//!
+//! The event loop only receives the number of fronts: no set-up waits behind a peer's datagram. A datagram
+//! that can't be sent at once is dropped; the state machine tolerates loss.
+use crate::errors::StartError;
+use crate::key_file;
+use crate::membership_status::{describe_members, ChangeHistory};
+use crankpaddle_api::describe::Members;
+use crankpaddle_config::Peers as PeersConfig;
+use crankpaddle_membership::{
+    LocalHealth, MemberChange, MemberState, Membership, MembershipConfig, Output,
+};
+use crankpaddle_net::{clock, drain_queue, recv_until, spawn, Stack};
+use may::net::UdpSocket;
+use may::sync::mpsc::{channel, Receiver, Sender};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::ops::ControlFlow;
+use std::sync::mpsc::RecvTimeoutError;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Commands handled before timers are checked.
+const COMMAND_BATCH: usize = 64;
+/// A socket that can't be read is tried again after this time.
+const READ_RETRY_INTERVAL: Duration = Duration::from_millis(20);
+/// Bytes of a datagram that are read; a longer one is not a peer's.
+const MOST_DATAGRAM: usize = 2048;
+/// The announcement that this front leaves may take this long.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(500);
+
+enum Command {
+    Receive { from: SocketAddr, bytes: Vec<u8> },
+    Leave { done: std::sync::mpsc::Sender<()> },
+    DescribeMembers { reply: Sender<Members> },
+}
+
+/// A handle to the coroutine that owns the membership.
+#[derive(Clone)]
+pub(crate) struct MembershipHandle(Sender<Command>);
+
+impl MembershipHandle {
+    /// This front's view of its peers; `None` where there is no reply until `deadline`. Call in a coroutine.
+    pub(crate) fn members(&self, deadline: u64) -> Option<Members> {
+        let (reply, replies) = channel();
+        self.0.send(Command::DescribeMembers { reply }).ok()?;
+        recv_until(&replies, deadline).ok()
+    }
+
+    /// Announces to the peers that this front leaves. Call on a thread, not in a coroutine.
+    pub(crate) fn leave(&self) {
+        let (done, left) = std::sync::mpsc::channel();
+        if self.0.send(Command::Leave { done }).is_ok() {
+            let _ = left.recv_timeout(LEAVE_TIMEOUT); // Else the peers find out by themselves, later.
+        }
+    }
+}
+
+/// All that is needed to take part in the membership.
+pub(crate) struct OpenedMembership {
+    config: MembershipConfig,
+    socket: Arc<UdpSocket>,
+    /// Addresses that go before those that peers state, by name.
+    routes: HashMap<String, SocketAddr>,
+    commands: Sender<Command>,
+    inbox: Receiver<Command>,
+}
+
+/// Reads the key and opens the socket.
+///
+/// # Errors
+/// The key can't be read, or the address can't be listened on.
+pub(crate) fn open(
+    config: &PeersConfig,
+) -> Result<(OpenedMembership, MembershipHandle), StartError> {
+    let key = key_file::read_key(&config.key_file)?;
+    let listen_error = |source| StartError::Listen {
+        address: config.listen,
+        source,
+    };
+    let socket = Arc::new(UdpSocket::bind(config.listen).map_err(listen_error)?);
+    let bound_address = socket.local_addr().map_err(listen_error)?;
+    let own_address = config.address.unwrap_or(bound_address);
+    let membership_config = membership_config(config, own_address, key);
+    tracing::info!(
+        name = config.name,
+        address = %own_address,
+        seeds = ?membership_config.seeds,
+        "membership opened"
+    );
+    let (commands, inbox) = channel();
+    let handle = MembershipHandle(commands.clone());
+    let opened = OpenedMembership {
+        config: membership_config,
+        socket,
+        routes: config.ways.clone(),
+        commands,
+        inbox,
+    };
+    Ok((opened, handle))
+}
+
+fn membership_config(
+    config: &PeersConfig,
+    own_address: SocketAddr,
+    key: [u8; 16],
+) -> MembershipConfig {
+    let unix_time = SystemTime::now().duration_since(UNIX_EPOCH);
+    let epoch = unix_time.unwrap_or(Duration::ZERO).as_millis() as u64;
+    MembershipConfig {
+        name: config.name.clone(),
+        address: own_address.to_string(),
+        epoch,
+        incarnation: rand::random(),
+        key,
+        seeds: config.seeds.iter().map(SocketAddr::to_string).collect(),
+        probe_interval: config.probe_every,
+        probe_timeout: config.probe_every * 2 / 5,
+        datagrams: f64::from(config.datagrams),
+        bytes: config.bytes as f64,
+        ..MembershipConfig::default()
+    }
+}
+
+impl OpenedMembership {
+    /// Takes part. `on_fleet_size` is called with the number of known fronts, this one included, whenever it
+    /// changes.
+    pub(crate) fn run(self, on_fleet_size: impl Fn(u32) + Send + 'static) {
+        let reader_socket = self.socket.clone();
+        let commands = self.commands;
+        spawn(Stack::Usual, move || {
+            read_datagrams(&reader_socket, &commands);
+        });
+        let runner = MembershipRunner {
+            membership: Membership::new(self.config, rand::random(), clock::now()),
+            socket: self.socket,
+            routes: self.routes,
+            outputs: Vec::new(),
+            history: ChangeHistory::default(),
+            on_fleet_size: Box::new(on_fleet_size),
+            reported_fleet_size: 0,
+        };
+        let inbox = self.inbox;
+        spawn(Stack::Large, move || runner.run(&inbox));
+    }
+}
+
+fn read_datagrams(socket: &UdpSocket, commands: &Sender<Command>) {
+    let mut buffer = [0u8; MOST_DATAGRAM];
+    loop {
+        match socket.recv_from(&mut buffer) {
+            Ok((length, from)) => {
+                let bytes = buffer[..length].to_vec();
+                if commands.send(Command::Receive { from, bytes }).is_err() {
+                    return;
+                }
+            }
+            // The error may be that of a peer that is not there, reported by the host's network; the socket
+            // is sound.
+            Err(_) => crankpaddle_net::sleep(READ_RETRY_INTERVAL),
+        }
+    }
+}
+
+struct MembershipRunner {
+    membership: Membership,
+    socket: Arc<UdpSocket>,
+    routes: HashMap<String, SocketAddr>,
+    outputs: Vec<Output>,
+    history: ChangeHistory,
+    on_fleet_size: Box<dyn Fn(u32) + Send>,
+    reported_fleet_size: u32,
+}
+
+impl MembershipRunner {
+    fn run(mut self, inbox: &Receiver<Command>) {
+        while self.run_once(inbox).is_continue() {}
+    }
+
+    /// Handles the commands that come until the next deadline, then the timers.
+    fn run_once(&mut self, inbox: &Receiver<Command>) -> ControlFlow<()> {
+        let now = clock::now();
+        let deadline = self.membership.next_expiry();
+        if deadline > now {
+            match recv_until(inbox, deadline) {
+                Ok(command) => self.handle_command(command)?,
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return ControlFlow::Break(()),
+            }
+        }
+        let mut commands = Vec::new();
+        drain_queue(inbox, COMMAND_BATCH, |command| commands.push(command));
+        for command in commands {
+            self.handle_command(command)?;
+        }
+        self.membership.expire(clock::now(), &mut self.outputs);
+        self.perform_outputs();
+        ControlFlow::Continue(())
+    }
+
+    /// Breaks after the front left.
+    fn handle_command(&mut self, command: Command) -> ControlFlow<()> {
+        match command {
+            Command::Receive { from, bytes } => {
+                let from = from.to_string();
+                self.membership
+                    .receive(clock::now(), &from, &bytes, &mut self.outputs);
+                self.perform_outputs();
+            }
+            Command::DescribeMembers { reply } => {
+                let members = describe_members(clock::now(), &self.membership, &self.history);
+                let _ = reply.send(members); // The requester may be gone.
+            }
+            Command::Leave { done } => {
+                self.membership.leave(clock::now(), &mut self.outputs);
+                self.perform_outputs();
+                let _ = done.send(()); // The requester may have timed out.
+                return ControlFlow::Break(());
+            }
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn perform_outputs(&mut self) {
+        let mut outputs = std::mem::take(&mut self.outputs);
+        for output in outputs.drain(..) {
+            match output {
+                Output::Send {
+                    name,
+                    address,
+                    bytes,
+                } => self.send_datagram(&name, &address, &bytes),
+                Output::MemberChanged(change) => self.member_changed(change),
+                Output::LocalHealthChanged(LocalHealth::Replaced) => {
+                    tracing::error!(
+                        reason = "another process has this front's name among its peers",
+                        "membership silenced"
+                    );
+                }
+                Output::LocalHealthChanged(local_health) => {
+                    tracing::info!(?local_health, "local health changed");
+                }
+            }
+        }
+        self.outputs = outputs; // Its memory is reused.
+        self.report_fleet_size();
+    }
+
+    fn send_datagram(&self, name: &str, stated_address: &str, bytes: &[u8]) {
+        let route = self.routes.get(name).copied();
+        if let Some(address) = route.or_else(|| stated_address.parse().ok()) {
+            // What can't be sent at once is lost, as on any network.
+            let _ = self.socket.inner().send_to(bytes, address);
+        }
+    }
+
+    /// Logs a change. The field `by` and the names of the states are read by `crates/cli/tests/fleet.rs`.
+    fn member_changed(&mut self, change: MemberChange) {
+        let state = change.state;
+        match state {
+            MemberState::Alive | MemberState::Left => tracing::info!(
+                member = change.name,
+                ?state,
+                by = change.by,
+                restarted = change.restarted,
+                "member state changed"
+            ),
+            MemberState::Suspect | MemberState::Gone => tracing::warn!(
+                member = change.name,
+                ?state,
+                by = change.by,
+                "member state changed"
+            ),
+        }
+        self.history.record(clock::now(), change);
+    }
+
+    fn report_fleet_size(&mut self) {
+        let fleet_size = self.membership.estimated_fleet_size() + 1;
+        if fleet_size != self.reported_fleet_size {
+            self.reported_fleet_size = fleet_size;
+            (self.on_fleet_size)(fleet_size);
+        }
+    }
+}
--- a/crates/daemon/tests/player_texts.rs
+++ b/crates/daemon/tests/player_texts.rs
@@ -1,18 +1,18 @@
 //! The exact JSON texts that players get: answers, errors and notices.
-mod rig;
+mod support;
 mod texts;
-use rig::{wait, Rig, FREE, PAID};
 use serde_json::json;
-use texts::{masked, parsed, Texts, V1};
+use support::{wait_until, Harness, FREE, PAID};
+use texts::{masked, parsed, TextPlayer, V1};
 
 const V2: &str = "session.v2.jsonrpc";
 
 #[test]
 fn sessions_are_opened_resumed_and_closed_with_exact_texts() {
-    let rig = Rig::new(&[]);
-    let address = rig.daemon.address();
-    let mut player = Texts::connect(address, V1);
-    let opened = player.ask(r#"{"jsonrpc":"2.0","id":"one","method":"session.open","params":{"key":"exact-0001","class":"preview","title":"clip-00"}}"#);
+    let harness = Harness::new(&[]);
+    let address = harness.daemon.address();
+    let mut player = TextPlayer::connect(address, V1);
+    let opened = player.call(r#"{"jsonrpc":"2.0","id":"one","method":"session.open","params":{"key":"exact-0001","class":"preview","title":"clip-00"}}"#);
     let value = parsed(&opened);
     let (media, session) = (&value["result"]["media"], &value["result"]["session"]);
     assert!(
@@ -26,16 +26,17 @@
             r#"{{"id":"one","jsonrpc":"2.0","result":{{"media":{media},"rung":4,"session":{session}}}}}"#
         )
     );
-    // Another connection takes it up, in the later version.
-    let mut other = Texts::connect(address, V2);
-    let resumed = other
-        .ask(r#"{"jsonrpc":"2.0","id":2,"method":"session.resume","params":{"key":"exact-0001"}}"#);
+    // Another connection resumes it, in the later version.
+    let mut other = TextPlayer::connect(address, V2);
+    let resumed = other.call(
+        r#"{"jsonrpc":"2.0","id":2,"method":"session.resume","params":{"key":"exact-0001"}}"#,
+    );
     let value = parsed(&resumed);
-    let (hall, media) = (&value["result"]["hall"], &value["result"]["media"]);
+    let (zone, media) = (&value["result"]["hall"], &value["result"]["media"]);
     assert_eq!(
         resumed,
         format!(
-            r#"{{"id":2,"jsonrpc":"2.0","result":{{"hall":{hall},"media":{media},"rung":4,"session":{session}}}}}"#
+            r#"{{"id":2,"jsonrpc":"2.0","result":{{"hall":{zone},"media":{media},"rung":4,"session":{session}}}}}"#
         )
     );
     let taken = player.read_until("session.end");
@@ -49,15 +50,15 @@
         r#"{{"jsonrpc":"2.0","id":3,"method":"session.close","params":{{"session":{session}}}}}"#
     );
     assert_eq!(
-        other.ask(&close),
+        other.call(&close),
         r#"{"id":3,"jsonrpc":"2.0","result":{"closed":true}}"#
     );
 }
 
 #[test]
-fn calls_that_are_wrong_get_exact_texts() {
-    let rig = Rig::new(&[]);
-    let mut player = Texts::connect(rig.daemon.address(), V2);
+fn malformed_calls_get_exact_texts() {
+    let harness = Harness::new(&[]);
+    let mut player = TextPlayer::connect(harness.daemon.address(), V2);
     for (call, wanted) in [
         (
             r#"{"jsonrpc":"2.0","id":3,"method":"session.close","params":{"session":"s-9"}}"#,
@@ -92,34 +93,36 @@
             r#"{"error":{"code":-32602,"data":{"field":"class"},"message":"no class \"none\" here"},"id":8,"jsonrpc":"2.0"}"#,
         ),
     ] {
-        assert_eq!(player.ask(call), wanted);
+        assert_eq!(player.call(call), wanted);
     }
 }
 
 #[test]
 fn failures_of_paid_sessions_have_exact_texts() {
-    let rig = Rig::new(&[]);
-    let address = rig.daemon.address();
-    let mut player = Texts::connect(address, V1);
+    let harness = Harness::new(&[]);
+    let address = harness.daemon.address();
+    let mut player = TextPlayer::connect(address, V1);
     let opened = parsed(&player.open(1, "spent-0001", PAID));
     let close = json!({"jsonrpc": "2.0", "id": 2, "method": "session.close", "params": {"session": opened["result"]["session"]}});
     assert_eq!(
-        player.ask(&close.to_string()),
+        player.call(&close.to_string()),
         r#"{"id":2,"jsonrpc":"2.0","result":{"closed":true}}"#
     );
     assert_eq!(
         player.open(3, "spent-0001", PAID),
         r#"{"error":{"code":-32002,"data":{"reason":"key_spent"},"message":"failed"},"id":3,"jsonrpc":"2.0"}"#
     );
-    rig.modes(|mode| mode.errors = 1.0);
+    harness.set_modes(|mode| mode.errors = 1.0);
     assert_eq!(
         player.open(4, "error-0001", PAID),
         r#"{"error":{"code":-32002,"data":{"reason":"server_error"},"message":"failed"},"id":4,"jsonrpc":"2.0"}"#
     );
-    rig.modes(|mode| (mode.errors, mode.hangs) = (0.0, true));
+    harness.set_modes(|mode| (mode.errors, mode.hangs) = (0.0, true));
     player.call_open(5, "hangs-0001", PAID);
-    wait("its attempt to be out", || rig.of_key("hangs-0001").0 == 1);
-    let mut other = Texts::connect(address, V1);
+    wait_until("its attempt to be out", || {
+        harness.set_ups_and_bills("hangs-0001").0 == 1
+    });
+    let mut other = TextPlayer::connect(address, V1);
     other.call_open(6, "hangs-0001", PAID);
     assert_eq!(
         player.read(),
@@ -132,9 +135,9 @@
 }
 
 #[test]
-fn notices_and_refusals_have_exact_texts() {
-    let rig = Rig::new(&[]);
-    let mut player = Texts::connect(rig.daemon.address(), V1);
+fn notifications_and_rejections_have_exact_texts() {
+    let harness = Harness::new(&[]);
+    let mut player = TextPlayer::connect(harness.daemon.address(), V1);
     for id in 1..7 {
         player.open(id, &format!("crowded-{id:04}"), FREE);
     }
@@ -146,22 +149,22 @@
         );
         assert_eq!(masked(text), wanted);
     };
-    rig.fleet.set_slow(8.0);
+    harness.fleet.set_slow(8.0);
     notice(&player.read_until("\"session.rung\""), r##""rung":#"##);
-    rig.fleet.set_slow(1.0);
-    (0..12).for_each(|id| rig.fleet.end_sessions(id, true));
+    harness.fleet.set_slow(1.0);
+    (0..12).for_each(|id| harness.fleet.end_sessions(id, true));
     notice(
         &player.read_until("\"session.end\""),
         r#""reason":"finished""#,
     );
     player.open(8, "lost-00001", FREE);
-    (0..12).for_each(|id| rig.fleet.crash(id));
+    (0..12).for_each(|id| harness.fleet.crash(id));
     notice(
         &player.read_until("\"server_lost\""),
         r##""reason":"server_lost","retry_after_ms":#"##,
     );
     let (mut id, mut refused) = (8, String::new());
-    wait("the front to have no server left", || {
+    wait_until("the front to have no server left", || {
         id += 1;
         refused = player.open(id, &format!("none-{id:05}"), FREE);
         refused.contains("\"no_room\"")
--- a/crates/front/src/core/dispatch.rs
+++ b/crates/front/src/core/dispatch.rs
@@ -43,7 +43,7 @@
             Input::CrossZonePolicyChanged {
                 zone,
                 class,
-                leave: policy,
+                policy,
             } => self.cross_zone_policy_changed(zone, class, policy),
             Input::RateCapped(id, is_capped) => self.rate_capped(id, is_capped),
             Input::HealthCheckCompleted(server, outcome, report) => {
@@ -58,7 +58,7 @@
                 tenant,
                 key,
                 class,
-                past: outcome,
+                outcome,
             } => self.key_resolved(tenant, key, class, outcome),
             Input::SessionFound {
                 token,
--- a/crates/front/src/input.rs
+++ b/crates/front/src/input.rs
@@ -104,7 +104,7 @@
         /// The class.
         class: u8,
         /// The policy in force from now on.
-        leave: CrossZonePolicy,
+        policy: CrossZonePolicy,
     },
     /// A playing session is limited to its lowest rung (`true`), or may use all rungs that its viewer can use (`false`).
     RateCapped(AttemptId, bool),
@@ -135,7 +135,7 @@
         /// The class of the request.
         class: u8,
         /// The outcome of the request; `None`: it never ran.
-        past: Option<RequestOutcome>,
+        outcome: Option<RequestOutcome>,
     },
     /// A server holds a session that a previous incarnation set up. Answered by
     /// [`Output::FoundSessionHandled`](crate::Output::FoundSessionHandled).
--- a/crates/front/tests/drive/sessions.rs
+++ b/crates/front/tests/drive/sessions.rs
@@ -54,10 +54,10 @@
 #[test]
 fn a_rejection_states_when_the_cross_zone_policy_is_its_reason() {
     let mut harness = Harness::new();
-    let crossing = |class, leave| Input::CrossZonePolicyChanged {
+    let crossing = |class, policy| Input::CrossZonePolicyChanged {
         zone: 0,
         class,
-        leave,
+        policy,
     };
     harness.handle(crossing(FREE, CrossZonePolicy::Forbidden));
     let rejection = |harness: &mut Harness, player, key: &str, class| {
--- a/crates/front/tests/startup_recovery.rs
+++ b/crates/front/tests/startup_recovery.rs
@@ -256,7 +256,7 @@
             tenant: 0,
             key: key.into(),
             class: PAID,
-            past: outcome,
+            outcome,
         });
     }
     let outputs = harness.complete_reconciliation();
@@ -278,7 +278,7 @@
         tenant: 0,
         key: "k".into(),
         class: u8::MAX,
-        past: Some(RequestOutcome::Played),
+        outcome: Some(RequestOutcome::Played),
     });
     harness.complete_reconciliation();
     let (call, outputs) = harness.open("k", PAID);
