--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -13,17 +13,17 @@
 #![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
-mod budget;
+mod token_bucket;
 #[cfg(test)]
-mod check;
+mod model_check;
 mod gossip_state;
 mod local_health;
 mod member_state;
-mod peers;
+mod membership;
 mod suspicion;
 pub mod wire;
 
 pub use gossip_state::{Entry, MOST_VALUE};
 pub use local_health::LocalHealth;
 pub use member_state::{MemberState, MemberVersion};
-pub use peers::{Counters, Member, MemberChange, Membership, MembershipConfig, Output};
+pub use membership::{Counters, Member, MemberChange, Membership, MembershipConfig, Output};
--- a/crates/membership/src/peers.rs
+++ b/crates/membership/src/membership.rs
@@ -3,7 +3,7 @@
 mod probe;
 mod receive;
 
-use crate::budget::Budget;
+use crate::token_bucket::Budget;
 use crate::gossip_state::{Board, Entry, MOST_VALUE};
 use crate::local_health::{Health, LocalHealth};
 use crate::member_state::{MemberState, MemberVersion};
--- /dev/null
+++ b/crates/membership/src/model_check.rs
@@ -0,0 +1,2 @@
+//! Model checking of the membership state machine (test builds only).
+mod tests;
--- a/crates/membership/src/check.rs
+++ b/crates/membership/src/model_check/tests.rs
@@ -2,7 +2,7 @@
 //! nothing, a restart, an orderly leave. The members are the real state machine; only time stands still.
 #[cfg(test)]
 use crate::member_state::{MemberState, MemberVersion};
-use crate::peers::{Membership, MembershipConfig};
+use crate::membership::{Membership, MembershipConfig};
 use stateright::{Checker, Model, Property};
 use std::hash::{Hash, Hasher};
 
