--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -170,7 +170,7 @@
     fn accused(&self, name: &str, since: Instant) -> bool {
         self.changes
             .iter()
-            .any(|(at, c)| *at >= since && c.name == name && c.state == MemberState::Gone)
+            .any(|(at, c)| *at >= since && c.name == name && c.state == MemberState::Dead)
     }
 }
 
@@ -198,7 +198,7 @@
     // Killed: its death is found, nobody else is accused.
     let since = Instant::now();
     fronts[0].signal(Signal::KILL);
-    let took = observer.until("a's death is known", |o| o.sees("a", MemberState::Gone));
+    let took = observer.until("a's death is known", |o| o.sees("a", MemberState::Dead));
     eprintln!(
         "a death is known after {took:?}, {} rounds",
         took.as_millis() / PROBE_EVERY.as_millis()
@@ -224,7 +224,7 @@
     // Stopped for so long that the others give it up; it comes back by itself and accuses nobody.
     let since = Instant::now();
     fronts[1].signal(Signal::STOP);
-    observer.until("b is given up", |o| o.sees("b", MemberState::Gone));
+    observer.until("b is given up", |o| o.sees("b", MemberState::Dead));
     fronts[1].log.try_iter().for_each(drop);
     fronts[1].signal(Signal::CONT);
     let took = observer.until("b is back", |o| o.sees("b", MemberState::Alive));
@@ -232,7 +232,7 @@
     let quiet = Instant::now();
     observer.until("some rounds pass", |_| quiet.elapsed() > 20 * PROBE_EVERY);
     // What it found itself; what others told it may be written late.
-    let own = |line: &String| line.contains("Gone") && line.contains("\"by\":\"b\"");
+    let own = |line: &String| line.contains("Dead") && line.contains("\"by\":\"b\"");
     let said: Vec<String> = fronts[1].log.try_iter().filter(own).collect();
     assert!(said.is_empty(), "who stood still accused others: {said:?}");
     assert!(
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -168,7 +168,7 @@
     match state {
         MemberState::Alive => PeerState::Alive,
         MemberState::Suspect => PeerState::Suspect,
-        MemberState::Gone => PeerState::Gone,
+        MemberState::Dead => PeerState::Gone,
         MemberState::Left => PeerState::Left,
     }
 }
@@ -250,8 +250,8 @@
                 LocalHealth::Replaced => OwnStanding::Replaced,
             },
             members: self.peers.members().into_iter().map(peer).collect(),
-            sent: counters.sent.0,
-            heard: counters.heard,
+            sent: counters.datagrams_sent,
+            heard: counters.datagrams_received,
             dropped: counters.dropped(),
             counted: counters
                 .named()
@@ -286,7 +286,7 @@
                         MemberState::Alive | MemberState::Left => {
                             tracing::info!(member = c.name, state = ?c.state, by = c.by, restarted = c.restarted, "member");
                         }
-                        MemberState::Suspect | MemberState::Gone => {
+                        MemberState::Suspect | MemberState::Dead => {
                             tracing::warn!(member = c.name, state = ?c.state, by = c.by, "member");
                         }
                     }
--- a/crates/fault-simulation/examples/foca.rs
+++ b/crates/fault-simulation/examples/foca.rs
@@ -186,7 +186,7 @@
                 OwnedNotification::MemberUp(id) | OwnedNotification::Rename(_, id) => {
                     (id, MemberState::Alive)
                 }
-                OwnedNotification::MemberDown(id) => (id, MemberState::Gone),
+                OwnedNotification::MemberDown(id) => (id, MemberState::Dead),
                 _ => continue,
             };
             let known = &mut self.nodes[i].states[of.number as usize];
--- a/crates/fault-simulation/src/net.rs
+++ b/crates/fault-simulation/src/net.rs
@@ -148,9 +148,9 @@
         };
         let i = match self.names.get(&address) {
             Some(i) => {
-                let before = self.nodes[*i].peers.counters().sent;
-                self.sent_before[*i].0 += before.0;
-                self.sent_before[*i].1 += before.1;
+                let before = self.nodes[*i].peers.counters();
+                self.sent_before[*i].0 += before.datagrams_sent;
+                self.sent_before[*i].1 += before.bytes_sent;
                 self.nodes[*i] = node;
                 *i
             }
@@ -317,7 +317,7 @@
     /// Members that were taken for gone by somebody from a time on.
     pub fn accused(&self, from: u64) -> Vec<(usize, String)> {
         let gone = |(at, by, c): &(u64, usize, MemberChange)| {
-            (*at >= from && c.state == MemberState::Gone).then(|| (*by, c.name.clone()))
+            (*at >= from && c.state == MemberState::Dead).then(|| (*by, c.name.clone()))
         };
         self.changes.iter().filter_map(gone).collect()
     }
@@ -375,7 +375,7 @@
             }
             Act::Write(i) => {
                 let written = self.tell(*i, |p, now, _| p.write(now, 1, vec![7; 100]));
-                written.map_err(|most| format!("an entry has {most} bytes at most"))?;
+                written.map_err(|error| error.to_string())?;
                 self.wrote = Some((*i, self.now));
             }
         }
@@ -414,7 +414,8 @@
     fn sent(&self) -> Rate {
         let time = (self.now - BEGIN).max(1) as f64 / SECOND as f64;
         let rate = |(node, before): (&Node, &(u64, u64))| {
-            let sent = node.peers.counters().sent;
+            let counters = node.peers.counters();
+            let sent = (counters.datagrams_sent, counters.bytes_sent);
             (
                 (sent.0 + before.0) as f64 / time,
                 (sent.1 + before.1) as f64 / time,
--- a/crates/fault-simulation/src/runner.rs
+++ b/crates/fault-simulation/src/runner.rs
@@ -115,7 +115,7 @@
         }
         Claim::Accused(by, but, most, each) => {
             let wrong = |t: &&Turn| {
-                t.state == MemberState::Gone && by.has(t.by, fleet) && !but.has(t.of, fleet)
+                t.state == MemberState::Dead && by.has(t.by, fleet) && !but.has(t.of, fleet)
             };
             let count = world.turns(mark).iter().filter(wrong).count();
             let most = f64::from(*most) + each * fleet as f64;
--- a/crates/fault-simulation/src/scenario.rs
+++ b/crates/fault-simulation/src/scenario.rs
@@ -445,7 +445,7 @@
                 let state = match see.state() {
                     schema::State::Alive => MemberState::Alive,
                     schema::State::Suspect => MemberState::Suspect,
-                    schema::State::Gone => MemberState::Gone,
+                    schema::State::Gone => MemberState::Dead,
                     schema::State::Left => MemberState::Left,
                     schema::State::Unstated => {
                         self.c
--- a/crates/fault-simulation/tests/claims.rs
+++ b/crates/fault-simulation/tests/claims.rs
@@ -93,7 +93,7 @@
     let step = r#"see { claim: "c" at: "!3" of: "3" state: GONE bound { within: "1s" } }"#;
     let gone = |times: [u64; 3]| Told {
         turns: (0..3)
-            .map(|by| turn(times[by], by, 3, MemberState::Gone))
+            .map(|by| turn(times[by], by, 3, MemberState::Dead))
             .collect(),
         ..Told::default()
     };
@@ -124,11 +124,11 @@
         ..Told::default()
     };
     assert!(
-        kept(&step(""), of(vec![turn(500, 0, 3, MemberState::Gone)])),
+        kept(&step(""), of(vec![turn(500, 0, 3, MemberState::Dead)])),
         "rightly"
     );
     assert!(
-        kept(&step(""), of(vec![turn(500, 2, 1, MemberState::Gone)])),
+        kept(&step(""), of(vec![turn(500, 2, 1, MemberState::Dead)])),
         "by another"
     );
     assert!(
@@ -136,17 +136,17 @@
         "only suspected"
     );
     assert!(
-        kept(&step(""), of(vec![turn(0, 0, 2, MemberState::Gone)])),
+        kept(&step(""), of(vec![turn(0, 0, 2, MemberState::Dead)])),
         "before the mark"
     );
     assert!(!kept(
         &step(""),
-        of(vec![turn(500, 0, 2, MemberState::Gone)])
+        of(vec![turn(500, 0, 2, MemberState::Dead)])
     ));
     let both = || {
         of(vec![
-            turn(500, 0, 2, MemberState::Gone),
-            turn(600, 1, 2, MemberState::Gone),
+            turn(500, 0, 2, MemberState::Dead),
+            turn(600, 1, 2, MemberState::Dead),
         ])
     };
     assert!(kept(&step("most: 2"), both()) && !kept(&step("most: 1"), both()));
--- a/crates/membership/src/gossip_state.rs
+++ b/crates/membership/src/gossip_state.rs
@@ -1,114 +1,146 @@
-//! The board: entries that only their owner writes, each with its age.
+//! The gossip state: values that only their owner writes, replicated to all members, each with its age.
+use crate::member_state::IncarnationId;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// Bytes of one value at most; all entries of a member must fit one datagram.
-pub const MOST_VALUE: usize = 512;
+/// The longest value, bytes. Why: every entry must fit a datagram together with the sender's header.
+pub const MAX_VALUE_BYTES: usize = 512;
+
+/// Orders the writes of one entry: by the owner's incarnation, then by its count of writes.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+pub struct EntryVersion {
+    /// The owner's epoch when it wrote.
+    pub epoch: u64,
+    /// The owner's incarnation when it wrote.
+    pub incarnation: u64,
+    /// Which write of that incarnation it was, from 1 on.
+    pub write_count: u32,
+}
+
+impl EntryVersion {
+    /// The owner's incarnation when it wrote.
+    #[must_use]
+    pub fn incarnation_id(&self) -> IncarnationId {
+        IncarnationId {
+            epoch: self.epoch,
+            incarnation: self.incarnation,
+        }
+    }
+}
 
 /// An entry as its reader sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
-    /// What its owner wrote.
+    /// The value that its owner wrote.
     pub value: Vec<u8>,
-    /// Nanoseconds since it was written, at least: added up on the way from each host's monotonic clock; what it spent
-    /// between two hosts is not counted, since no two clocks are compared.
+    /// Nanoseconds since it was written, at least: summed up from each host's monotonic clock on the way. Time in transit is
+    /// not counted, since no two hosts' clocks are compared.
     pub age: u64,
-    /// The owner's life in which it was written, and the how manieth write of that life it was.
-    pub version: (u64, u64, u32),
+    /// Which write it is.
+    pub version: EntryVersion,
 }
 
-/// An entry on its way.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Written {
+/// Identifies an entry.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub(crate) struct EntryKey {
     pub owner: String,
     pub key: u8,
-    pub epoch: u64,
-    pub life: u64,
-    pub count: u32,
+}
+
+/// An entry as it is sent. The order of the fields is part of the datagram format.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct EntryUpdate {
+    pub entry: EntryKey,
+    pub version: EntryVersion,
     pub age: u64,
     pub value: Vec<u8>,
 }
 
+/// An entry's version as a digest lists it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct EntryDigest {
+    pub entry: EntryKey,
+    pub version: EntryVersion,
+}
+
 #[derive(Clone, Debug)]
-struct Held {
-    version: (u64, u64, u32),
-    age: u64,  // When it came ...
-    came: u64, // ... and when that was here.
+struct StoredEntry {
+    version: EntryVersion,
+    age_on_receipt: u64,
+    received_at: u64,
     value: Vec<u8>,
 }
 
-/// All entries known here.
+/// All entries known to this member.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Board {
-    held: BTreeMap<(String, u8), Held>,
+pub(crate) struct GossipState {
+    entries: BTreeMap<EntryKey, StoredEntry>,
 }
 
-impl Board {
-    /// Takes an entry if it is later than what is held; true if so.
-    pub(crate) fn take(&mut self, now: u64, entry: &Written) -> bool {
-        let version = (entry.epoch, entry.life, entry.count);
-        let at = (entry.owner.clone(), entry.key);
-        if entry.value.len() > MOST_VALUE
-            || self.held.get(&at).is_some_and(|h| h.version >= version)
-        {
+impl GossipState {
+    /// Stores an update if it is later than the stored entry; true if it was stored.
+    pub(crate) fn apply(&mut self, now: u64, update: &EntryUpdate) -> bool {
+        let stored = self.entries.get(&update.entry);
+        let is_outdated = stored.is_some_and(|stored| stored.version >= update.version);
+        if update.value.len() > MAX_VALUE_BYTES || is_outdated {
             return false;
         }
-        let held = Held {
-            version,
-            age: entry.age,
-            came: now,
-            value: entry.value.clone(),
+        let entry = StoredEntry {
+            version: update.version,
+            age_on_receipt: update.age,
+            received_at: now,
+            value: update.value.clone(),
         };
-        self.held.insert(at, held);
+        self.entries.insert(update.entry.clone(), entry);
         true
     }
 
-    /// An entry as it goes out now.
-    pub(crate) fn written(&self, now: u64, owner: &str, key: u8) -> Option<Written> {
-        let held = self.held.get(&(owner.to_owned(), key))?;
-        let (epoch, life, count) = held.version;
-        let age = held.age.saturating_add(now.saturating_sub(held.came));
-        let value = held.value.clone();
-        Some(Written {
-            owner: owner.to_owned(),
-            key,
-            epoch,
-            life,
-            count,
-            age,
-            value,
+    /// An entry as it would be sent at `now`.
+    pub(crate) fn update(&self, now: u64, entry: &EntryKey) -> Option<EntryUpdate> {
+        let stored = self.entries.get(entry)?;
+        let stored_for = now.saturating_sub(stored.received_at);
+        Some(EntryUpdate {
+            entry: entry.clone(),
+            version: stored.version,
+            age: stored.age_on_receipt.saturating_add(stored_for),
+            value: stored.value.clone(),
         })
     }
 
-    pub(crate) fn read(&self, now: u64, owner: &str, key: u8) -> Option<Entry> {
-        let w = self.written(now, owner, key)?;
+    /// An entry as a reader sees it at `now`.
+    pub(crate) fn read(&self, now: u64, entry: &EntryKey) -> Option<Entry> {
+        let update = self.update(now, entry)?;
         Some(Entry {
-            value: w.value,
-            age: w.age,
-            version: (w.epoch, w.life, w.count),
+            value: update.value,
+            age: update.age,
+            version: update.version,
         })
     }
 
-    /// The owners and keys from some place on, round about: what a digest tells of.
-    pub(crate) fn versions(&self, from: usize, most: usize) -> Vec<(String, u8, (u64, u64, u32))> {
-        let all = self.held.len();
-        let of = |(at, held): (&(String, u8), &Held)| (at.0.clone(), at.1, held.version);
-        let begin = if all == 0 { 0 } else { from % all };
-        self.held
-            .iter()
-            .skip(begin)
-            .chain(self.held.iter().take(begin))
-            .take(most)
-            .map(of)
+    /// The versions of up to `limit` entries, from the position `cursor` on and round to the first ones.
+    pub(crate) fn digest(&self, cursor: usize, limit: usize) -> Vec<EntryDigest> {
+        let begin = cursor.checked_rem(self.entries.len()).unwrap_or(0);
+        let to_the_end = self.entries.iter().skip(begin);
+        let from_the_start = self.entries.iter().take(begin);
+        to_the_end
+            .chain(from_the_start)
+            .take(limit)
+            .map(|(entry, stored)| EntryDigest {
+                entry: entry.clone(),
+                version: stored.version,
+            })
             .collect()
     }
 
-    pub(crate) fn version(&self, owner: &str, key: u8) -> Option<(u64, u64, u32)> {
-        self.held.get(&(owner.to_owned(), key)).map(|h| h.version)
+    /// The version of an entry that is stored.
+    pub(crate) fn version(&self, entry: &EntryKey) -> Option<EntryVersion> {
+        self.entries.get(entry).map(|stored| stored.version)
     }
 
-    /// Forgets all of an owner.
-    pub(crate) fn forget(&mut self, owner: &str) {
-        self.held.retain(|(of, _), _| of != owner);
+    /// Removes all entries of an owner.
+    pub(crate) fn remove_owner(&mut self, owner: &str) {
+        self.entries.retain(|entry, _| entry.owner != owner);
     }
 }
--- a/crates/membership/src/local_health.rs
+++ b/crates/membership/src/local_health.rs
@@ -1,72 +1,90 @@
-//! A front's own standing: whether it is the one that cannot hear.
+//! A member's own health: whether it is the one that is slow or cut off.
 use std::collections::VecDeque;
 
-/// How a front stands with the others, as it sees itself.
+/// How well a member is connected to the others, by its own estimate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum LocalHealth {
-    /// There is nobody to hear.
+    /// It knows no other member.
     Alone,
-    /// It hears whom it asks.
+    /// The members that it probes answer.
     Connected,
-    /// Its timers were late, or a part of those it asked did not answer.
+    /// Its timers were late, or a part of its recent probes was not answered.
     Degraded,
-    /// It hears nobody it asks: it accuses nobody.
+    /// None of its recent probes was answered: it declares no member suspect or dead.
     Isolated,
-    /// Another process has its name: it says nothing any more.
+    /// Another process took over its name: it sends nothing any more.
     Replaced,
 }
 
-/// Probes that count.
-const KEPT: usize = 4;
-/// The worst local health.
-const WORST: u32 = 8;
+/// How many of the latest probes are considered.
+const PROBE_HISTORY: usize = 4;
+/// The worst score (Lifeguard's maximum of the local health multiplier).
+const MAX_SCORE: u32 = 8;
+/// The score that a process has at least after it was stalled.
+const STALLED_SCORE: u32 = 2;
 
-/// Local health (Lifeguard): the worse it is, the longer probes wait before they accuse.
+/// The local health multiplier (Lifeguard): the worse this member's own health is, the longer it waits for answers before it
+/// suspects another.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Health {
-    worse: u32,
-    heard: VecDeque<bool>,
-    late_until: u64,
+pub(crate) struct LocalHealthMonitor {
+    score: u32,
+    recent_probes: VecDeque<bool>, // Whether each was acknowledged.
+    degraded_until: u64,
 }
 
-impl Health {
-    /// Times are multiplied by this.
-    pub(crate) fn scale(&self) -> u64 {
-        u64::from(1 + self.worse)
+impl LocalHealthMonitor {
+    /// What timeouts are multiplied by.
+    pub(crate) fn multiplier(&self) -> u64 {
+        u64::from(1 + self.score)
     }
 
-    /// A probe came out.
-    pub(crate) fn probed(&mut self, answered: bool) {
-        self.heard.push_back(answered);
-        while self.heard.len() > KEPT {
-            self.heard.pop_front();
+    /// Records the outcome of a probe.
+    pub(crate) fn record_probe(&mut self, acknowledged: bool) {
+        self.recent_probes.push_back(acknowledged);
+        while self.recent_probes.len() > PROBE_HISTORY {
+            self.recent_probes.pop_front();
         }
-        if answered {
-            self.worse = self.worse.saturating_sub(1);
+        if acknowledged {
+            self.score = self.score.saturating_sub(1);
         }
     }
 
-    /// Something tells that it is we who are slow: a helper did not even say that it could not reach another, or we had to
-    /// refute a suspicion.
+    /// Records a sign that this member is the slow one: a helper sent not even a nack, or it had to refute a suspicion.
     pub(crate) fn worsen(&mut self) {
-        self.worse = (self.worse + 1).min(WORST);
+        self.score = (self.score + 1).min(MAX_SCORE);
     }
 
-    /// We stood still until now; for a while what we did not hear says nothing of others.
-    pub(crate) fn stood_still(&mut self, until: u64) {
-        self.late_until = until;
-        self.heard.clear();
-        self.worse = self.worse.max(2);
+    /// Records that this process was stalled. Until `until`, missing answers are no evidence against other members.
+    pub(crate) fn record_stall(&mut self, until: u64) {
+        self.degraded_until = until;
+        self.recent_probes.clear();
+        self.score = self.score.max(STALLED_SCORE);
     }
 
-    /// `others`: members to be heard.
-    pub(crate) fn standing(&self, now: u64, others: usize) -> LocalHealth {
-        let silent = self.heard.iter().filter(|heard| !**heard).count();
-        match () {
-            () if others == 0 => LocalHealth::Alone,
-            () if self.heard.len() == KEPT && silent == KEPT => LocalHealth::Isolated,
-            () if now < self.late_until || silent * 2 >= KEPT => LocalHealth::Degraded,
-            () => LocalHealth::Connected,
+    /// The health at `now`, given how many other members are active.
+    pub(crate) fn assess(&self, now: u64, active_members: usize) -> LocalHealth {
+        if active_members == 0 {
+            return LocalHealth::Alone;
         }
+        let unanswered = self.unanswered_probes();
+        if self.recent_probes.len() == PROBE_HISTORY && unanswered == PROBE_HISTORY {
+            return LocalHealth::Isolated;
+        }
+        if now < self.degraded_until || unanswered * 2 >= PROBE_HISTORY {
+            return LocalHealth::Degraded;
+        }
+        LocalHealth::Connected
+    }
+
+    /// Whether none of the recent probes was answered, whatever the number of members.
+    pub(crate) fn is_isolated(&self, now: u64) -> bool {
+        self.assess(now, 1) == LocalHealth::Isolated
+    }
+
+    fn unanswered_probes(&self) -> usize {
+        self.recent_probes
+            .iter()
+            .filter(|acknowledged| !**acknowledged)
+            .count()
     }
 }
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -1,304 +1,162 @@
-//! Members, probes and suspicion: what is heard and when, and what goes out for it.
+//! The state machine of one member: its state, its timers, and what can be read of it.
+//!
+//! The protocol's parts are in the modules below, each with the methods of one job.
+mod anti_entropy;
+mod config;
+mod counters;
 mod dissemination;
+mod entries;
+mod gossip_queue;
+mod indirect_probe;
+mod member_table;
+mod member_updates;
+mod output;
+mod own_identity;
 mod probe;
 mod receive;
+mod rejoin;
+mod send_budget;
+#[cfg(test)]
+mod tests;
 
-use crate::token_bucket::Budget;
-use crate::gossip_state::{Board, Entry, MOST_VALUE};
-use crate::local_health::{Health, LocalHealth};
+pub use config::MembershipConfig;
+pub use counters::Counters;
+pub use output::{Member, MemberChange, Output};
+
+use crate::gossip_state::GossipState;
+use crate::local_health::{LocalHealth, LocalHealthMonitor};
 use crate::member_state::{MemberState, MemberVersion};
-use crate::suspicion::Suspicion;
-use crate::wire::{Fault, MOST};
-use dissemination::Item;
-use probe::{Help, Probe};
+use gossip_queue::GossipQueue;
+use indirect_probe::IndirectProbe;
+use member_table::MemberTable;
+use own_identity::NameConflicts;
+use probe::Probe;
+use send_budget::SendBudget;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Nanoseconds of a millisecond.
 const MILLISECOND: u64 = 1_000_000;
+/// Nanoseconds of a second.
 const SECOND: u64 = 1000 * MILLISECOND;
-/// For so long after a start another process under our name is taken for a former life of ours.
-const SETTLED: u64 = 10 * SECOND;
-/// Conflicts over our name after which the other process has it ...
-const CONFLICTS: u32 = 2;
-/// ... within this time.
-const CONTESTED: u64 = 60 * SECOND;
-/// Members gone for longer than this are forgotten.
-const FORGET: u64 = 600 * SECOND;
-
-/// How a front takes part.
-#[derive(Clone, Debug)]
-pub struct MembershipConfig {
-    /// Its name, the same after a restart.
-    pub name: String,
-    /// Where others reach it, as it says.
-    pub address: String,
-    /// Its host's wall clock at its start, milliseconds.
-    pub epoch: u64,
-    /// Drawn at its start.
-    pub incarnation: u64,
-    /// Keyed checksum: a fleet's own, so that no other fleet mixes in.
-    pub key: [u8; 16],
-    /// Where others may be found at first.
-    pub seeds: Vec<String>,
-    /// Time between two probes, nanoseconds.
-    pub probe_interval: u64,
-    /// Time for a direct answer.
-    pub probe_timeout: u64,
-    /// Members asked to probe for us.
-    pub indirect_probes: usize,
-    /// Budget, a second: datagrams and bytes.
-    pub datagrams: f64,
-    /// See `datagrams`.
-    pub bytes: f64,
-}
-
-impl Default for MembershipConfig {
-    fn default() -> MembershipConfig {
-        MembershipConfig {
-            name: String::new(),
-            address: String::new(),
-            epoch: 0,
-            incarnation: 0,
-            key: [0; 16],
-            seeds: Vec::new(),
-            probe_interval: SECOND,
-            probe_timeout: 400 * MILLISECOND,
-            indirect_probes: 3,
-            datagrams: 60.0,
-            bytes: 30_000.0,
-        }
-    }
-}
-
-/// A member that came to be taken for something else.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct MemberChange {
-    /// Its name.
-    pub name: String,
-    /// What it is taken for now.
-    pub state: MemberState,
-    /// Who said so: a member's name, our own where we found it ourselves.
-    pub by: String,
-    /// Whether it is another life of it than before.
-    pub restarted: bool,
-}
-
-/// What is to be done, in order.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Output {
-    /// Send a datagram.
-    Send {
-        /// To whom; empty where that is not known yet.
-        name: String,
-        /// Where it says that it is reached.
-        address: String,
-        /// What.
-        bytes: Vec<u8>,
-    },
-    /// A member changed.
-    MemberChanged(MemberChange),
-    /// Our own standing changed.
-    LocalHealthChanged(LocalHealth),
-}
-
-/// A member as operators see it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Member {
-    /// Its name.
-    pub name: String,
-    /// Where it is reached, as it says.
-    pub address: String,
-    /// What it is taken for.
-    pub state: MemberState,
-    /// Since when, our clock.
-    pub since: u64,
-    /// Who said so.
-    pub by: String,
-    /// Its last answer to a probe took so long.
-    pub rtt: Option<u64>,
-}
-
-/// What was dropped, sent and found.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counters {
-    /// Datagrams and bytes sent.
-    pub sent: (u64, u64),
-    /// Datagrams heard.
-    pub heard: u64,
-    /// Dropped: unreadable.
-    pub garbage: u64,
-    /// Dropped: of another version.
-    pub versions: u64,
-    /// Dropped: another fleet's, or damaged.
-    pub checksums: u64,
-    /// Dropped: meant for another member.
-    pub strays: u64,
-    /// Dropped: of an earlier life of their sender.
-    pub old_lives: u64,
-    /// Not answered: a sender of too many.
-    pub floods: u64,
-    /// Not sent: the budget was used.
-    pub held_back: u64,
-    /// Entries or news of ours that were none, set right.
-    pub forged: u64,
-    /// Other processes under our name met.
-    pub conflicts: u64,
-    /// Members that we took for gone.
-    pub accused: u64,
-}
-
-impl Counters {
-    /// All that was heard and dropped.
-    pub fn dropped(&self) -> u64 {
-        self.garbage + self.versions + self.checksums + self.strays + self.old_lives
-    }
+/// The first digest is sent within this time of the start.
+const FIRST_SYNC_WITHIN: u64 = 2 * SECOND;
+/// Rounds of gossip that announce a leave.
+const LEAVE_ROUNDS: usize = 3;
+/// For so many probe intervals after a stall this member's health is degraded.
+const DEGRADED_INTERVALS_AFTER_STALL: u64 = 3;
+/// For so many probe intervals after a stall nobody is declared dead.
+const GRACE_INTERVALS_AFTER_STALL: u64 = 2;
 
-    /// Each but datagrams sent and heard, with the name that operators know it by.
-    pub fn named(&self) -> [(&'static str, u64); 11] {
-        [
-            ("bytes_sent", self.sent.1),
-            ("dropped_garbage", self.garbage),
-            ("dropped_other_version", self.versions),
-            ("dropped_other_fleet", self.checksums),
-            ("dropped_stray", self.strays),
-            ("dropped_old_life", self.old_lives),
-            ("not_answered_flood", self.floods),
-            ("not_sent_budget", self.held_back),
-            ("forged", self.forged),
-            ("name_conflicts", self.conflicts),
-            ("accused", self.accused),
-        ]
-    }
-}
-
-#[derive(Clone)]
-pub(crate) struct Known {
-    at: MemberVersion,
-    address: String,
-    since: u64,
-    by: String,
-    rtt: Option<u64>,
-    suspicion: Option<Suspicion>,
-    answers: Budget, // For what it asks.
+/// Whether a member still sends and receives.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Participation {
+    Active,
+    /// Another process took over its name.
+    Replaced,
+    /// It left in order.
+    Left,
 }
 
-/// The state machine; a copy goes on from where it is. Times are nanoseconds of a monotonic clock.
+/// The state machine of one member. A clone continues independently from the same state. Times are nanoseconds of a monotonic
+/// clock.
 #[derive(Clone)]
 pub struct Membership {
-    settings: MembershipConfig,
-    me: MemberVersion,
-    started: u64,
-    others: BTreeMap<String, Known>,
-    // Kept beside `others`, so that no datagram costs a look at all of them.
-    suspects: BTreeSet<String>,
-    alive: usize, // Alive and suspect.
-    gone: usize,
-    board: Board,
-    own_entries: BTreeSet<u8>,
-    pending: BTreeSet<(u32, Item)>,
-    told: BTreeMap<Item, u32>,
-    ring: Vec<String>,
+    config: MembershipConfig,
+    started_at: u64,
+    participation: Participation,
+    own_version: MemberVersion,
+    name_conflicts: NameConflicts,
+    members: MemberTable,
+    gossip_state: GossipState,
+    own_entry_keys: BTreeSet<u8>,
+    gossip_queue: GossipQueue,
+    probe_round: Vec<String>, // Members yet to probe, the next one last.
     probe: Option<Probe>,
-    helping: BTreeMap<u32, Help>,
-    health: Health,
-    standing: LocalHealth,
-    conflicts: (u32, u64),
-    replaced: bool,
-    left: bool,
-    seq: u32,
-    digest: usize,
+    indirect_probes: BTreeMap<u32, IndirectProbe>, // By the sequence number of the own ping.
+    local_health_monitor: LocalHealthMonitor,
+    local_health: LocalHealth,
+    last_sequence: u32,
+    digest_cursor: usize,
     probe_at: u64,
     gossip_at: u64,
     sync_at: u64,
     rejoin_at: u64,
-    budget: (Budget, Budget),
+    budget: SendBudget,
     counters: Counters,
     rng: oorandom::Rand32,
 }
 
 impl Membership {
-    /// A member that knows nobody yet. `seed` feeds its choices of whom to ask.
-    pub fn new(settings: MembershipConfig, seed: u64, now: u64) -> Membership {
-        let me = MemberVersion {
-            epoch: settings.epoch,
-            incarnation: settings.incarnation,
-            refutations: 0,
-            state: MemberState::Alive,
-        };
+    /// A member that knows no other one yet. `seed` feeds its random choices.
+    #[must_use]
+    pub fn new(config: MembershipConfig, seed: u64, now: u64) -> Membership {
         let mut rng = oorandom::Rand32::new(seed);
-        // Fronts that start together do not ask together.
-        let within = |rng: &mut oorandom::Rand32, time: u64| {
-            now + (f64::from(rng.rand_float()) * time as f64) as u64
-        };
+        let digest_cursor = rng.rand_u32() as usize;
+        // Random, so that fronts that start together do not probe together.
+        let probe_at = now + random_within(&mut rng, config.probe_interval);
+        let sync_at = now + random_within(&mut rng, FIRST_SYNC_WITHIN);
         Membership {
-            me,
-            started: now,
-            others: BTreeMap::new(),
-            suspects: BTreeSet::new(),
-            alive: 0,
-            gone: 0,
-            board: Board::default(),
-            own_entries: BTreeSet::new(),
-            pending: BTreeSet::new(),
-            told: BTreeMap::new(),
-            ring: Vec::new(),
+            started_at: now,
+            participation: Participation::Active,
+            own_version: MemberVersion {
+                epoch: config.epoch,
+                incarnation: config.incarnation,
+                refutations: 0,
+                state: MemberState::Alive,
+            },
+            name_conflicts: NameConflicts::new(now),
+            members: MemberTable::default(),
+            gossip_state: GossipState::default(),
+            own_entry_keys: BTreeSet::new(),
+            gossip_queue: GossipQueue::default(),
+            probe_round: Vec::new(),
             probe: None,
-            helping: BTreeMap::new(),
-            health: Health::default(),
-            standing: LocalHealth::Alone,
-            conflicts: (0, now),
-            replaced: false,
-            left: false,
-            seq: 0,
-            digest: rng.rand_u32() as usize,
-            probe_at: within(&mut rng, settings.probe_interval),
+            indirect_probes: BTreeMap::new(),
+            local_health_monitor: LocalHealthMonitor::default(),
+            local_health: LocalHealth::Alone,
+            last_sequence: 0,
+            digest_cursor,
+            probe_at,
             gossip_at: u64::MAX,
-            sync_at: within(&mut rng, 2 * SECOND),
+            sync_at,
             rejoin_at: now,
-            budget: (
-                Budget::new(settings.datagrams, now),
-                Budget::new(settings.bytes, now),
-            ),
+            budget: SendBudget::new(config.datagrams, config.bytes, now),
             counters: Counters::default(),
-            settings,
+            config,
             rng,
         }
     }
 
-    /// When [`Membership::expire`] must be called next.
+    /// When [`Membership::expire`] must be called next; `u64::MAX`: not any more.
+    #[must_use]
     pub fn next_expiry(&self) -> u64 {
-        if self.replaced || self.left {
+        if !self.is_participating() {
             return u64::MAX;
         }
         let probe = self
             .probe
             .as_ref()
-            .map_or(self.probe_at, probe::Probe::next);
-        let suspicion = |name| self.others.get(name).and_then(|k| k.suspicion.as_ref());
-        let suspects = self
-            .suspects
-            .iter()
-            .filter_map(|name| Some(suspicion(name)?.until()));
-        let helping = self.helping.values().map(|h| h.until);
+            .map_or(self.probe_at, Probe::next_expiry);
+        let indirect_probes = self
+            .indirect_probes
+            .values()
+            .map(IndirectProbe::next_expiry);
         [probe, self.gossip_at, self.sync_at, self.rejoin_at]
             .into_iter()
-            .chain(suspects)
-            .chain(helping)
+            .chain(self.members.suspicion_deadlines())
+            .chain(indirect_probes)
             .fold(u64::MAX, u64::min)
     }
 
-    /// Lets fall due what is due.
+    /// Runs all timers that are due at `now`.
     pub fn expire(&mut self, now: u64, out: &mut Vec<Output>) {
-        if self.replaced || self.left {
+        if !self.is_participating() {
             return;
         }
-        let due = self.next_expiry();
-        // A timer late by half a round tells that we stood still.
-        if now > due.saturating_add(self.settings.probe_interval / 2) {
-            self.stood_still(now, now - due);
-        }
-        self.probes(now, out);
-        self.helps(now, out);
-        self.suspicions(now, out);
+        self.detect_stall(now);
+        self.run_probe(now, out);
+        self.expire_indirect_probes(now, out);
+        self.expire_suspicions(now, out);
         if now >= self.gossip_at {
             self.gossip(now, out);
         }
@@ -308,148 +166,141 @@
         if now >= self.rejoin_at {
             self.rejoin(now, out);
         }
-        self.stand(now, out);
-    }
-
-    /// Danger: a process that stood still (a stop, a host without time) finds all its timers due: it would take for gone
-    /// whoever had no chance to be heard. It finds itself late first.
-    fn stood_still(&mut self, now: u64, by: u64) {
-        self.health
-            .stood_still(now.saturating_add(3 * self.settings.probe_interval));
-        self.probe = None;
-        self.probe_at = now;
-        self.helping.clear();
-        let again = 2 * self.settings.probe_interval;
-        let suspicions = self
-            .others
-            .values_mut()
-            .filter_map(|k| k.suspicion.as_mut());
-        suspicions.for_each(|s| s.put_off(by.saturating_add(again)));
+        self.update_local_health(now, out);
     }
 
-    fn stand(&mut self, now: u64, out: &mut Vec<Output>) {
-        let standing = match self.health.standing(now, self.alive) {
-            _ if self.replaced => LocalHealth::Replaced,
-            LocalHealth::Alone if self.gone > 0 => LocalHealth::Isolated,
-            standing => standing,
-        };
-        if standing != self.standing {
-            self.standing = standing;
-            out.push(Output::LocalHealthChanged(standing));
-        }
-    }
-
-    /// Says that we leave; nothing goes out after that.
+    /// Announces that this member leaves; it sends nothing after that.
     pub fn leave(&mut self, now: u64, out: &mut Vec<Output>) {
-        self.me.state = MemberState::Left;
-        self.push(Item::Member(self.settings.name.clone()), now);
-        for _ in 0..3 {
+        self.own_version.state = MemberState::Left;
+        self.enqueue_own_version(now);
+        for _ in 0..LEAVE_ROUNDS {
             self.gossip(now, out);
         }
-        self.left = true;
-    }
-
-    /// Writes an entry of ours.
-    ///
-    /// # Errors
-    /// It is too long.
-    pub fn write(&mut self, now: u64, key: u8, value: Vec<u8>) -> Result<(), usize> {
-        if value.len() > MOST_VALUE || value.len() + 200 > MOST {
-            return Err(MOST_VALUE);
-        }
-        let count = self
-            .board
-            .version(&self.settings.name, key)
-            .map_or(0, |(_, _, count)| count);
-        self.write_as(now, key, value, count.saturating_add(1));
-        Ok(())
+        self.participation = Participation::Left;
     }
 
-    /// What a member has on the board, unless it has left.
-    pub fn entry(&self, now: u64, owner: &str, key: u8) -> Option<Entry> {
-        self.board.read(now, owner, key)
-    }
-
-    /// All others that are known, by name.
+    /// All other members that are known, by name.
+    #[must_use]
     pub fn members(&self) -> Vec<Member> {
-        let member = |(name, k): (&String, &Known)| Member {
-            name: name.clone(),
-            address: k.address.clone(),
-            state: k.at.state,
-            since: k.since,
-            by: k.by.clone(),
-            rtt: k.rtt,
-        };
-        self.others.iter().map(member).collect()
+        self.members
+            .iter()
+            .map(|(name, record)| record.to_member(name))
+            .collect()
     }
 
-    /// What one is taken for.
+    /// Another member's state; `None` if it is not known.
+    #[must_use]
     pub fn state_of(&self, name: &str) -> Option<MemberState> {
-        self.others.get(name).map(|k| k.at.state)
+        self.members.state(name)
     }
 
-    /// Others that may still act: all that are known but those that said that they leave. One that is gone for us may be
-    /// out of our reach only; it counts until it is forgotten.
+    /// Other members that may still act: all that are known but those that left. A dead member may only be out of reach; it
+    /// counts until it is removed.
+    #[must_use]
     pub fn estimated_fleet_size(&self) -> u32 {
-        (self.alive + self.gone) as u32
+        (self.members.active() + self.members.dead()) as u32
     }
 
-    /// Our own name.
+    /// This member's name.
+    #[must_use]
     pub fn name(&self) -> &str {
-        &self.settings.name
+        &self.config.name
     }
 
-    /// Where we say that we are reached.
+    /// The address that this member announces.
+    #[must_use]
     pub fn address(&self) -> &str {
-        &self.settings.address
+        &self.config.address
     }
 
-    /// Our own standing.
+    /// This member's own health.
+    #[must_use]
     pub fn local_health(&self) -> LocalHealth {
-        self.standing
+        self.local_health
     }
 
-    /// Our own standpoint.
+    /// This member's own version.
+    #[must_use]
     pub fn own_version(&self) -> MemberVersion {
-        self.me
+        self.own_version
     }
 
-    /// What was counted.
+    /// Counters since the start.
+    #[must_use]
     pub fn counters(&self) -> Counters {
         self.counters
     }
 
-    fn fault(&mut self, fault: Fault) {
-        match fault {
-            Fault::Garbage => self.counters.garbage += 1,
-            Fault::Version => self.counters.versions += 1,
-            Fault::Checksum => self.counters.checksums += 1,
+    fn is_participating(&self) -> bool {
+        self.participation == Participation::Active
+    }
+
+    /// Detects that this process was stalled: a timer is late by more than half a probe interval.
+    ///
+    /// Why: a process that was stopped, or got no processor time, finds all its timers due at once. It would declare members
+    /// dead that had no chance to be received.
+    fn detect_stall(&mut self, now: u64) {
+        let due = self.next_expiry();
+        let interval = self.config.probe_interval;
+        if now <= due.saturating_add(interval / 2) {
+            return;
+        }
+        let late_by = now - due;
+        self.local_health_monitor
+            .record_stall(now.saturating_add(DEGRADED_INTERVALS_AFTER_STALL * interval));
+        self.probe = None;
+        self.probe_at = now;
+        self.indirect_probes.clear();
+        let postponement = late_by.saturating_add(GRACE_INTERVALS_AFTER_STALL * interval);
+        for suspicion in self.members.suspicions_mut() {
+            suspicion.postpone(postponement);
         }
     }
 
-    /// A member's state becomes another one; `None`: it is not known.
-    fn counted(&mut self, before: Option<MemberState>, after: Option<MemberState>) {
-        let alive =
-            |s: Option<MemberState>| usize::from(s.is_some_and(|s| s <= MemberState::Suspect));
-        let gone = |s: Option<MemberState>| usize::from(s == Some(MemberState::Gone));
-        self.alive = self.alive + alive(after) - alive(before);
-        self.gone = self.gone + gone(after) - gone(before);
+    /// Reports this member's health if it changed.
+    fn update_local_health(&mut self, now: u64, out: &mut Vec<Output>) {
+        let health = self.assess_local_health(now);
+        if health != self.local_health {
+            self.local_health = health;
+            out.push(Output::LocalHealthChanged(health));
+        }
     }
 
-    /// Some members that may be asked, by chance, without one.
-    fn some(&mut self, most: usize, but: &str) -> Vec<String> {
-        let may =
-            |(name, k): &(&String, &Known)| k.at.state <= MemberState::Suspect && *name != but;
+    fn assess_local_health(&self, now: u64) -> LocalHealth {
+        if self.participation == Participation::Replaced {
+            return LocalHealth::Replaced;
+        }
+        let health = self.local_health_monitor.assess(now, self.members.active());
+        match health {
+            LocalHealth::Alone if self.members.dead() > 0 => LocalHealth::Isolated,
+            health => health,
+        }
+    }
+
+    fn next_sequence(&mut self) -> u32 {
+        self.last_sequence = self.last_sequence.wrapping_add(1);
+        self.last_sequence
+    }
+
+    /// Up to `limit` active members at random, without the one named `excluded`.
+    fn choose_members(&mut self, limit: usize, excluded: &str) -> Vec<String> {
         let mut names: Vec<&String> = self
-            .others
+            .members
             .iter()
-            .filter(may)
+            .filter(|(name, record)| record.version.state.is_active() && *name != excluded)
             .map(|(name, _)| name)
             .collect();
-        for i in 0..most.min(names.len()) {
-            let j = i + self.rng.rand_range(0..(names.len() - i) as u32) as usize;
-            names.swap(i, j);
+        // A partial Fisher-Yates shuffle: only the first `limit` places are drawn.
+        for place in 0..limit.min(names.len()) {
+            let remaining = (names.len() - place) as u32;
+            let drawn = place + self.rng.rand_range(0..remaining) as usize;
+            names.swap(place, drawn);
         }
-        names.into_iter().take(most).cloned().collect()
+        names.into_iter().take(limit).cloned().collect()
     }
 }
+
+/// A random part of a duration.
+fn random_within(rng: &mut oorandom::Rand32, duration: u64) -> u64 {
+    (f64::from(rng.rand_float()) * duration as f64) as u64
+}
--- /dev/null
+++ b/crates/membership/src/membership/anti_entropy.rs
@@ -0,0 +1,149 @@
+//! Anti-entropy: members compare digests of what they know, so that updates which gossip missed arrive as well.
+use super::dissemination::{Destination, Message, ANSWER_RESERVE, GOSSIP_RESERVE};
+use super::gossip_queue::GossipItem;
+use super::{Membership, Output, SECOND};
+use crate::gossip_state::{EntryDigest, EntryKey};
+use crate::wire::{Body, MemberDigest};
+
+/// Time between two digests.
+const SYNC_INTERVAL: u64 = SECOND;
+/// Time to the next digest after one showed a difference.
+const SYNC_INTERVAL_ON_DIFFERENCE: u64 = SYNC_INTERVAL / 5;
+/// Members in a digest.
+const DIGEST_MEMBERS: usize = 18;
+/// Entries in a digest.
+const DIGEST_ENTRIES: usize = 10;
+
+/// Where a received digest differs from what is known here.
+#[derive(Default)]
+struct Difference {
+    newer_here: Vec<GossipItem>,
+    wanted_members: Vec<String>,
+    wanted_entries: Vec<EntryKey>,
+}
+
+impl Difference {
+    fn is_empty(&self) -> bool {
+        self.newer_here.is_empty()
+            && self.wanted_members.is_empty()
+            && self.wanted_entries.is_empty()
+    }
+}
+
+impl Membership {
+    /// Sends one member a digest of a part of what is known; it answers with what it knows better and what it lacks.
+    pub(super) fn sync(&mut self, now: u64, out: &mut Vec<Output>) {
+        self.sync_at = now.saturating_add(SYNC_INTERVAL);
+        let Some(name) = self.choose_members(1, "").pop() else {
+            return;
+        };
+        self.digest_cursor = self.digest_cursor.wrapping_add(DIGEST_MEMBERS);
+        let body = Body::Digest {
+            members: self.member_digest(),
+            entries: self.gossip_state.digest(self.digest_cursor, DIGEST_ENTRIES),
+        };
+        let message = Message::new(&body).with_reserve(GOSSIP_RESERVE);
+        self.send_to_member(now, &name, message, out);
+    }
+
+    /// The next members in turn, and this one.
+    fn member_digest(&self) -> Vec<MemberDigest> {
+        let begin = self.digest_cursor % (self.members.len() + 1);
+        // Why a cycle: cut off at the end of the table, the first members by name would be sent least often.
+        let mut digest: Vec<MemberDigest> = self
+            .members
+            .iter()
+            .cycle()
+            .skip(begin)
+            .take(DIGEST_MEMBERS.min(self.members.len()))
+            .map(|(name, record)| MemberDigest {
+                name: name.clone(),
+                version: record.version,
+            })
+            .collect();
+        digest.push(MemberDigest {
+            name: self.config.name.clone(),
+            version: self.own_version,
+        });
+        digest
+    }
+
+    /// Answers a digest with the updates that its sender lacks, and requests those that are missing here.
+    pub(super) fn answer_digest(
+        &mut self,
+        now: u64,
+        from: Destination<'_>,
+        members: Vec<MemberDigest>,
+        entries: Vec<EntryDigest>,
+        out: &mut Vec<Output>,
+    ) {
+        let mut difference = Difference::default();
+        self.compare_members(members, &mut difference);
+        self.compare_entries(entries, &mut difference);
+        if difference.is_empty() {
+            return;
+        }
+        // Where two members differ, others do as well.
+        self.sync_at = self
+            .sync_at
+            .min(now.saturating_add(SYNC_INTERVAL_ON_DIFFERENCE));
+        let body = Body::Pull {
+            members: difference.wanted_members,
+            entries: difference.wanted_entries,
+        };
+        let message = Message::new(&body)
+            .with_items(&difference.newer_here)
+            .with_reserve(ANSWER_RESERVE);
+        self.send(now, from, message, out);
+    }
+
+    fn compare_members(&self, members: Vec<MemberDigest>, difference: &mut Difference) {
+        for MemberDigest { name, version } in members {
+            let known = if name == self.config.name {
+                Some(self.own_version)
+            } else {
+                self.members.version(&name)
+            };
+            match known {
+                Some(known) if known.supersedes(&version) => {
+                    difference.newer_here.push(GossipItem::Member(name));
+                }
+                Some(known) if known == version => {}
+                _ => difference.wanted_members.push(name),
+            }
+        }
+    }
+
+    fn compare_entries(&self, entries: Vec<EntryDigest>, difference: &mut Difference) {
+        for EntryDigest { entry, version } in entries {
+            match self.gossip_state.version(&entry) {
+                Some(stored) if stored > version => {
+                    difference.newer_here.push(GossipItem::Entry(entry));
+                }
+                Some(stored) if stored == version => {}
+                _ => difference.wanted_entries.push(entry),
+            }
+        }
+    }
+
+    /// Answers a request for updates.
+    pub(super) fn answer_pull(
+        &mut self,
+        now: u64,
+        from: Destination<'_>,
+        members: Vec<String>,
+        entries: Vec<EntryKey>,
+        out: &mut Vec<Output>,
+    ) {
+        let members = members.into_iter().map(GossipItem::Member);
+        let entries = entries.into_iter().map(GossipItem::Entry);
+        let items: Vec<GossipItem> = members.chain(entries).collect();
+        if items.is_empty() {
+            return;
+        }
+        let message = Message::new(&Body::Gossip)
+            .with_items(&items)
+            .with_reserve(ANSWER_RESERVE);
+        self.send(now, from, message, out);
+    }
+}
--- a/crates/membership/src/membership/dissemination.rs
+++ b/crates/membership/src/membership/dissemination.rs
@@ -1,295 +1,202 @@
-//! What goes out: news and entries on every datagram, the least told first, within the budget.
-#[cfg(test)]
-use super::MemberVersion;
-use super::{Known, MemberState, Membership, Output, FORGET, MILLISECOND, SECOND};
-use crate::gossip_state::Written;
-use crate::wire::{Body, Builder, Head, News};
+//! Outgoing datagrams: each carries as many updates as fit, those sent least often first, within the budget.
+use super::gossip_queue::{GossipItem, QueuedItem};
+use super::{Membership, Output, MILLISECOND};
+use crate::wire::{Body, DatagramBuilder, Header, MemberUpdate};
 
-/// Time between two rounds of gossip while there is something new.
-const GOSSIP: u64 = 200 * MILLISECOND;
-/// Members told in each.
-const FANOUT: usize = 3;
-/// Each piece is told so many times the logarithm of the members.
-const TOLD: f64 = 4.0;
-/// Time between two digests.
-const SYNC: u64 = SECOND;
-/// Members and entries in a digest.
-const DIGEST: (usize, usize) = (18, 10);
-/// Time between two looks for who was lost.
-const REJOIN: u64 = 2 * SECOND;
-/// Part of the budget spared for probes and their answers.
-const SPARED: f64 = 0.3;
+/// Time between two rounds of gossip while there are updates to disseminate.
+const GOSSIP_INTERVAL: u64 = 200 * MILLISECOND;
+/// Time from a new update to the next round at the latest.
+const GOSSIP_DELAY: u64 = GOSSIP_INTERVAL / 4;
+/// Members that each round is sent to.
+const GOSSIP_FANOUT: usize = 3;
+/// Each update is sent this many times the logarithm of the fleet's size (SWIM's lambda).
+const RETRANSMIT_MULTIPLIER: f64 = 4.0;
+/// Queued updates that are considered for one datagram; no more would fit.
+const MAX_UPDATES_PER_DATAGRAM: usize = 40;
 
-/// What may be told.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Item {
-    Member(String),
-    Entry(String, u8),
+/// Part of the budget that gossip leaves for probes and answers.
+pub(super) const GOSSIP_RESERVE: f64 = 0.3;
+/// Part of the budget that answers with updates leave for probes and acknowledgements.
+pub(super) const ANSWER_RESERVE: f64 = 0.2;
+
+/// Where a datagram goes.
+#[derive(Clone, Copy)]
+pub(super) struct Destination<'a> {
+    /// The member's name; empty where it is not known yet.
+    pub(super) name: &'a str,
+    pub(super) address: &'a str,
 }
 
-impl Membership {
-    /// Something new is to be told.
-    pub(super) fn push(&mut self, item: Item, now: u64) {
-        if let Some(told) = self.told.insert(item.clone(), 0) {
-            self.pending.remove(&(told, item.clone()));
+/// A datagram to send.
+#[derive(Clone, Copy)]
+pub(super) struct Message<'a> {
+    body: &'a Body,
+    /// Updates that go before the queued ones.
+    first_items: &'a [GossipItem],
+    /// Part of the budget that must remain.
+    reserve: f64,
+}
+
+impl<'a> Message<'a> {
+    /// A probe or its answer: it may use the whole budget.
+    pub(super) fn new(body: &'a Body) -> Message<'a> {
+        Message {
+            body,
+            first_items: &[],
+            reserve: 0.0,
+        }
+    }
+
+    /// The same with updates that go before the queued ones.
+    pub(super) fn with_items(self, first_items: &'a [GossipItem]) -> Message<'a> {
+        Message {
+            first_items,
+            ..self
         }
-        self.pending.insert((0, item));
-        self.gossip_at = self.gossip_at.min(now.saturating_add(GOSSIP / 4));
     }
 
-    fn news_of(&self, name: &str) -> Option<News> {
-        if name == self.settings.name {
-            let (address, by) = (self.settings.address.clone(), name.to_owned());
-            return Some(News {
+    /// The same, sent only if this part of the budget remains.
+    pub(super) fn with_reserve(self, reserve: f64) -> Message<'a> {
+        Message { reserve, ..self }
+    }
+}
+
+/// An encoded datagram and the queued items that it carries.
+struct EncodedDatagram {
+    bytes: Vec<u8>,
+    queued_items: Vec<QueuedItem>,
+}
+
+impl Membership {
+    /// Queues an item for dissemination.
+    pub(super) fn enqueue(&mut self, item: GossipItem, now: u64) {
+        self.gossip_queue.push(item);
+        self.gossip_at = self.gossip_at.min(now.saturating_add(GOSSIP_DELAY));
+    }
+
+    /// Queues the own version for dissemination.
+    pub(super) fn enqueue_own_version(&mut self, now: u64) {
+        self.enqueue(GossipItem::Member(self.config.name.clone()), now);
+    }
+
+    /// What is known of a member, this one included.
+    pub(super) fn member_update(&self, name: &str) -> Option<MemberUpdate> {
+        if name == self.config.name {
+            return Some(MemberUpdate {
                 name: name.to_owned(),
-                address,
-                at: self.me,
-                by,
+                address: self.config.address.clone(),
+                version: self.own_version,
+                reported_by: name.to_owned(),
             });
         }
-        let known = self.others.get(name)?;
-        let (address, by) = (known.address.clone(), known.by.clone());
-        Some(News {
+        let record = self.members.get(name)?;
+        Some(MemberUpdate {
             name: name.to_owned(),
-            address,
-            at: known.at,
-            by,
+            address: record.address.clone(),
+            version: record.version,
+            reported_by: record.reported_by.clone(),
         })
     }
 
-    /// Sends a datagram with what fits of what is new. `spare`: the part of the budget that must stay.
+    /// Sends a datagram, filled up with queued updates. False if the budget does not allow it.
     pub(super) fn send(
         &mut self,
         now: u64,
-        to: (&str, &str),
-        body: &Body,
-        first: &[Item],
-        spare: f64,
+        to: Destination<'_>,
+        message: Message<'_>,
         out: &mut Vec<Output>,
     ) -> bool {
-        let (name, address) = to;
-        let head = Head {
-            from: self.settings.name.clone(),
-            address: self.settings.address.clone(),
-            at: self.me,
-            to: name.to_owned(),
-        };
-        let mut builder = Builder::new(&head, body);
-        let mut told = Vec::new();
-        let fresh: Vec<(u32, Item)> = self.pending.iter().take(40).cloned().collect();
-        for (times, item) in first
-            .iter()
-            .map(|i| (None, i))
-            .chain(fresh.iter().map(|(n, i)| (Some(*n), i)))
-        {
-            let fits = match item {
-                Item::Member(name) => self.news_of(name).is_some_and(|news| builder.news(&news)),
-                Item::Entry(owner, key) => self
-                    .board
-                    .written(now, owner, *key)
-                    .is_some_and(|entry| builder.entry(&entry)),
-            };
-            if let (true, Some(times)) = (fits, times) {
-                told.push((times, item.clone()));
-            }
-        }
-        let bytes = builder.finish(&self.settings.key);
-        let enough = self.budget.0.take(now, 1.0, spare)
-            && self.budget.1.take(now, bytes.len() as f64, spare);
-        if !enough {
-            self.counters.held_back += 1;
+        let datagram = self.encode(now, to.name, message);
+        let size = datagram.bytes.len();
+        if !self.budget.try_take(now, size, message.reserve) {
+            self.counters.over_budget += 1;
             return false;
         }
-        let most = (TOLD * ((self.others.len() + 2) as f64).log10()).ceil() as u32;
-        for (times, item) in told {
-            self.pending.remove(&(times, item.clone()));
-            if times + 1 < most {
-                self.pending.insert((times + 1, item.clone()));
-                self.told.insert(item, times + 1);
-            } else {
-                self.told.remove(&item);
-            }
+        let limit = self.transmit_limit();
+        for queued in datagram.queued_items {
+            self.gossip_queue.record_transmission(queued, limit);
         }
-        self.counters.sent = (
-            self.counters.sent.0 + 1,
-            self.counters.sent.1 + bytes.len() as u64,
-        );
+        self.counters.datagrams_sent += 1;
+        self.counters.bytes_sent += size as u64;
         out.push(Output::Send {
-            name: name.to_owned(),
-            address: address.to_owned(),
-            bytes,
+            name: to.name.to_owned(),
+            address: to.address.to_owned(),
+            bytes: datagram.bytes,
         });
         true
     }
 
-    pub(super) fn send_to(
+    /// Sends a datagram to a known member at the address that it announced.
+    pub(super) fn send_to_member(
         &mut self,
         now: u64,
         name: &str,
-        body: &Body,
-        first: &[Item],
-        spare: f64,
+        message: Message<'_>,
         out: &mut Vec<Output>,
     ) -> bool {
-        let Some(address) = self.others.get(name).map(|k| k.address.clone()) else {
+        let Some(record) = self.members.get(name) else {
             return false;
         };
-        self.send(now, (name, &address), body, first, spare, out)
+        let address = record.address.clone();
+        let to = Destination {
+            name,
+            address: &address,
+        };
+        self.send(now, to, message, out)
     }
 
+    /// Sends one round of gossip if there are updates to disseminate.
     pub(super) fn gossip(&mut self, now: u64, out: &mut Vec<Output>) {
-        self.gossip_at = if self.pending.is_empty() {
-            u64::MAX
-        } else {
-            now.saturating_add(GOSSIP)
-        };
-        if self.pending.is_empty() {
+        if self.gossip_queue.is_empty() {
+            self.gossip_at = u64::MAX;
             return;
         }
-        for name in self.some(FANOUT, "") {
-            self.send_to(now, &name, &Body::Gossip, &[], SPARED, out);
+        self.gossip_at = now.saturating_add(GOSSIP_INTERVAL);
+        for name in self.choose_members(GOSSIP_FANOUT, "") {
+            let message = Message::new(&Body::Gossip).with_reserve(GOSSIP_RESERVE);
+            self.send_to_member(now, &name, message, out);
         }
     }
 
-    /// Tells more often while there are differences.
-    pub(super) fn sync_soon(&mut self, now: u64) {
-        self.sync_at = self.sync_at.min(now.saturating_add(SYNC / 5));
-    }
-
-    /// Tells one member a part of what is known, round about; it answers with what it knows better.
-    pub(super) fn sync(&mut self, now: u64, out: &mut Vec<Output>) {
-        self.sync_at = now.saturating_add(SYNC);
-        let Some(name) = self.some(1, "").pop() else {
-            return;
-        };
-        let all = self.others.len() + 1;
-        self.digest = self.digest.wrapping_add(DIGEST.0);
-        let begin = self.digest % all;
-        let own = (self.settings.name.clone(), self.me);
-        // Round about: cut off at the end, the first by name would be told of least.
-        let others = self
-            .others
-            .iter()
-            .cycle()
-            .skip(begin)
-            .take(DIGEST.0.min(self.others.len()));
-        let mut members: Vec<_> = others.map(|(name, k)| (name.clone(), k.at)).collect();
-        members.push(own);
-        let entries = self.board.versions(self.digest, DIGEST.1);
-        self.send_to(
-            now,
-            &name,
-            &Body::Digest { members, entries },
-            &[],
-            SPARED,
-            out,
-        );
-    }
-
-    /// Looks for one that was lost, or for somebody at all. Danger: after a partition each side takes the other for gone and
-    /// nobody would ever ask again. The datagram tells the other what it is taken for, and it refutes.
-    pub(super) fn rejoin(&mut self, now: u64, out: &mut Vec<Output>) {
-        self.rejoin_at = now.saturating_add(REJOIN);
-        let old =
-            |k: &Known| k.at.state >= MemberState::Gone && now.saturating_sub(k.since) >= FORGET;
-        let old: Vec<String> = self
-            .others
-            .iter()
-            .filter(|(_, k)| old(k))
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in old {
-            let forgotten = self.others.remove(&name);
-            self.counted(forgotten.map(|k| k.at.state), None);
-            self.board.forget(&name);
-        }
-        let gone: Vec<String> = self
-            .others
-            .iter()
-            .filter(|(_, k)| k.at.state == MemberState::Gone)
-            .map(|(n, _)| n.clone())
-            .collect();
-        self.seq = self.seq.wrapping_add(1);
-        let ping = Body::Ping { seq: self.seq };
-        if !gone.is_empty() {
-            let name = gone[self.rng.rand_range(0..gone.len() as u32) as usize].clone();
-            self.send_to(
-                now,
-                &name,
-                &ping,
-                &[Item::Member(name.clone())],
-                SPARED,
-                out,
-            );
-        }
-        let unmet = |seed: &&String| {
-            **seed != self.settings.address
-                && !self
-                    .others
-                    .values()
-                    .any(|k| k.address == **seed && k.at.state < MemberState::Gone)
-        };
-        let unmet: Vec<String> = self.settings.seeds.iter().filter(unmet).cloned().collect();
-        if !unmet.is_empty() {
-            let seed = unmet[self.rng.rand_range(0..unmet.len() as u32) as usize].clone();
-            self.send(now, ("", &seed), &ping, &[], SPARED, out);
+    fn encode(&self, now: u64, to: &str, message: Message<'_>) -> EncodedDatagram {
+        let mut builder = DatagramBuilder::new(&self.header(to), message.body);
+        for item in message.first_items {
+            self.add_item(now, item, &mut builder);
         }
-    }
-
-    pub(super) fn write_as(&mut self, now: u64, key: u8, value: Vec<u8>, count: u32) {
-        let owner = self.settings.name.clone();
-        let (epoch, life) = (self.me.epoch, self.me.incarnation);
-        let written = Written {
-            owner: owner.clone(),
-            key,
-            epoch,
-            life,
-            count,
-            age: 0,
-            value,
-        };
-        self.own_entries.insert(key);
-        if self.board.take(now, &written) {
-            self.push(Item::Entry(owner, key), now);
+        let mut queued_items = self.gossip_queue.least_sent(MAX_UPDATES_PER_DATAGRAM);
+        queued_items.retain(|queued| self.add_item(now, &queued.item, &mut builder));
+        EncodedDatagram {
+            bytes: builder.finish(&self.config.key),
+            queued_items,
         }
     }
-}
 
-/// For the model's check.
-#[cfg(test)]
-impl Membership {
-    pub(crate) fn standpoint_of(&self, name: &str) -> Option<MemberVersion> {
-        if name == self.settings.name {
-            Some(self.me)
-        } else {
-            self.others.get(name).map(|k| k.at)
+    pub(super) fn header(&self, to: &str) -> Header {
+        Header {
+            from: self.config.name.clone(),
+            address: self.config.address.clone(),
+            version: self.own_version,
+            to: to.to_owned(),
         }
     }
 
-    /// A datagram with all that is known here.
-    pub(crate) fn all_it_knows(&self, to: &str) -> Vec<u8> {
-        let (from, address) = (self.settings.name.clone(), self.settings.address.clone());
-        let head = Head {
-            from,
-            address,
-            at: self.me,
-            to: to.to_owned(),
-        };
-        let mut builder = Builder::new(&head, &Body::Gossip);
-        for name in self.others.keys() {
-            assert!(
-                self.news_of(name).is_some_and(|news| builder.news(&news)),
-                "it fits"
-            );
+    /// Adds an item's update; false if it does not fit, or nothing is known of the item any more.
+    fn add_item(&self, now: u64, item: &GossipItem, builder: &mut DatagramBuilder) -> bool {
+        match item {
+            GossipItem::Member(name) => self
+                .member_update(name)
+                .is_some_and(|update| builder.add_member_update(&update)),
+            GossipItem::Entry(entry) => self
+                .gossip_state
+                .update(now, entry)
+                .is_some_and(|update| builder.add_entry_update(&update)),
         }
-        builder.finish(&self.settings.key)
     }
 
-    pub(crate) fn accuse(&mut self, name: &str, state: MemberState) {
-        if let Some(known) = self.others.get(name).filter(|k| k.at.state < state) {
-            let (at, address) = (MemberVersion { state, ..known.at }, known.address.clone());
-            let by = self.settings.name.clone();
-            self.learn(0, name, &address, at, &by, &mut Vec::new());
-        }
+    /// How often each update is sent.
+    fn transmit_limit(&self) -> u32 {
+        // This member too, and one more so that the logarithm is above zero.
+        let fleet_size = (self.members.len() + 2) as f64;
+        (RETRANSMIT_MULTIPLIER * fleet_size.log10()).ceil() as u32
     }
 }
--- /dev/null
+++ b/crates/membership/src/membership/member_table.rs
@@ -0,0 +1,170 @@
+//! The table of the other members, with counts and the set of suspects kept up to date beside it.
+use super::output::Member;
+use crate::member_state::{MemberState, MemberVersion};
+use crate::suspicion::Suspicion;
+use crate::token_bucket::TokenBucket;
+use crate::wire::MemberUpdate;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Requests of one member that are answered in a second.
+const ANSWERS_PER_SECOND: f64 = 25.0;
+
+/// What is known of another member.
+#[derive(Clone)]
+pub(super) struct MemberRecord {
+    pub(super) version: MemberVersion,
+    pub(super) address: String,
+    pub(super) since: u64, // When it entered its state.
+    pub(super) reported_by: String,
+    pub(super) rtt: Option<u64>,
+    pub(super) suspicion: Option<Suspicion>,
+    pub(super) answer_limit: TokenBucket,
+}
+
+/// All other members that are known, by name.
+#[derive(Clone, Default)]
+pub(super) struct MemberTable {
+    records: BTreeMap<String, MemberRecord>,
+    // Kept beside the records, so that no datagram costs a scan of all of them.
+    suspects: BTreeSet<String>,
+    active: usize,
+    dead: usize,
+}
+
+impl MemberTable {
+    pub(super) fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Members that are alive or suspect.
+    pub(super) fn active(&self) -> usize {
+        self.active
+    }
+
+    /// Members that are dead and not yet removed.
+    pub(super) fn dead(&self) -> usize {
+        self.dead
+    }
+
+    pub(super) fn get(&self, name: &str) -> Option<&MemberRecord> {
+        self.records.get(name)
+    }
+
+    pub(super) fn get_mut(&mut self, name: &str) -> Option<&mut MemberRecord> {
+        self.records.get_mut(name)
+    }
+
+    pub(super) fn version(&self, name: &str) -> Option<MemberVersion> {
+        self.records.get(name).map(|record| record.version)
+    }
+
+    pub(super) fn state(&self, name: &str) -> Option<MemberState> {
+        self.version(name).map(|version| version.state)
+    }
+
+    pub(super) fn is_active(&self, name: &str) -> bool {
+        self.state(name).is_some_and(MemberState::is_active)
+    }
+
+    pub(super) fn iter(&self) -> std::collections::btree_map::Iter<'_, String, MemberRecord> {
+        self.records.iter()
+    }
+
+    pub(super) fn suspicions_mut(&mut self) -> impl Iterator<Item = &mut Suspicion> {
+        self.records
+            .values_mut()
+            .filter_map(|record| record.suspicion.as_mut())
+    }
+
+    /// The deadlines of all suspicions.
+    pub(super) fn suspicion_deadlines(&self) -> impl Iterator<Item = u64> + '_ {
+        self.suspects
+            .iter()
+            .filter_map(|name| self.suspicion_deadline(name))
+    }
+
+    /// The suspects whose deadline has passed.
+    pub(super) fn overdue_suspects(&self, now: u64) -> Vec<String> {
+        let is_overdue = |name: &&String| {
+            self.suspicion_deadline(name)
+                .is_some_and(|deadline| now >= deadline)
+        };
+        self.suspects.iter().filter(is_overdue).cloned().collect()
+    }
+
+    fn suspicion_deadline(&self, name: &str) -> Option<u64> {
+        let suspicion = self.records.get(name)?.suspicion.as_ref()?;
+        Some(suspicion.deadline())
+    }
+
+    /// Stores a later version of a member. `changed`: its state or incarnation is another one than before.
+    pub(super) fn store(
+        &mut self,
+        now: u64,
+        update: &MemberUpdate,
+        suspicion: Option<Suspicion>,
+        changed: bool,
+    ) {
+        let state_before = self.state(&update.name);
+        self.count(state_before, Some(update.version.state));
+        if suspicion.is_some() {
+            self.suspects.insert(update.name.clone());
+        } else {
+            self.suspects.remove(&update.name);
+        }
+        let record = self
+            .records
+            .entry(update.name.clone())
+            .or_insert_with(|| MemberRecord::new(now, update));
+        record.version = update.version;
+        record.suspicion = suspicion;
+        record.reported_by.clone_from(&update.reported_by);
+        if update.version.state.is_active() {
+            record.address.clone_from(&update.address);
+        }
+        if changed {
+            record.since = now;
+        }
+    }
+
+    /// Removes a member that is not suspect.
+    pub(super) fn remove(&mut self, name: &str) {
+        let removed = self.records.remove(name);
+        self.count(removed.map(|record| record.version.state), None);
+    }
+
+    /// Counts a member's change from one state to another; `None`: it is not in the table.
+    fn count(&mut self, before: Option<MemberState>, after: Option<MemberState>) {
+        let active =
+            |state: Option<MemberState>| usize::from(state.is_some_and(MemberState::is_active));
+        let dead = |state: Option<MemberState>| usize::from(state == Some(MemberState::Dead));
+        self.active = self.active + active(after) - active(before);
+        self.dead = self.dead + dead(after) - dead(before);
+    }
+}
+
+impl MemberRecord {
+    fn new(now: u64, update: &MemberUpdate) -> MemberRecord {
+        MemberRecord {
+            version: update.version,
+            address: update.address.clone(),
+            since: now,
+            reported_by: update.reported_by.clone(),
+            rtt: None,
+            suspicion: None,
+            answer_limit: TokenBucket::new(ANSWERS_PER_SECOND, now),
+        }
+    }
+
+    /// The member as an operator sees it.
+    pub(super) fn to_member(&self, name: &str) -> Member {
+        Member {
+            name: name.to_owned(),
+            address: self.address.clone(),
+            state: self.version.state,
+            since: self.since,
+            by: self.reported_by.clone(),
+            rtt: self.rtt,
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/membership/member_updates.rs
@@ -0,0 +1,125 @@
+//! Updates of other members: suspicion, confirmation, death, and every other change of state.
+use super::gossip_queue::GossipItem;
+use super::{MemberChange, Membership, Output, SECOND};
+use crate::member_state::{MemberState, MemberVersion};
+use crate::suspicion::Suspicion;
+use crate::wire::MemberUpdate;
+
+/// How long suspicions are postponed while this member is isolated.
+const ISOLATED_POSTPONEMENT: u64 = SECOND;
+
+impl Membership {
+    /// Applies an update of another member if it is later than what is known.
+    pub(super) fn apply_member_update(
+        &mut self,
+        now: u64,
+        update: &MemberUpdate,
+        out: &mut Vec<Output>,
+    ) {
+        match self.members.version(&update.name) {
+            Some(known) if update.version.supersedes(&known) => {
+                self.store_member_update(now, update, Some(known), out);
+            }
+            Some(known) if update.version == known => self.confirm_suspicion(now, update),
+            Some(_) => {}
+            // A member that is dead or left and was never known is not worth a record.
+            None if update.version.state.is_active() => {
+                self.store_member_update(now, update, None, out);
+            }
+            None => {}
+        }
+    }
+
+    /// Another member suspects the same one: its timeout shortens, and the confirmation is disseminated.
+    fn confirm_suspicion(&mut self, now: u64, update: &MemberUpdate) {
+        let Some(record) = self.members.get_mut(&update.name) else {
+            return;
+        };
+        let Some(suspicion) = &mut record.suspicion else {
+            return;
+        };
+        if suspicion.confirm(&update.reported_by) {
+            record.reported_by.clone_from(&update.reported_by);
+            self.enqueue(GossipItem::Member(update.name.clone()), now);
+        }
+    }
+
+    fn store_member_update(
+        &mut self,
+        now: u64,
+        update: &MemberUpdate,
+        known: Option<MemberVersion>,
+        out: &mut Vec<Output>,
+    ) {
+        let state = update.version.state;
+        let restarted = known.is_some_and(|known| !known.is_same_incarnation(&update.version));
+        let changed = restarted || known.is_none_or(|known| known.state != state);
+        let suspicion = (state == MemberState::Suspect).then(|| self.new_suspicion(now, update));
+        self.members.store(now, update, suspicion, changed);
+        if changed {
+            out.push(Output::MemberChanged(MemberChange {
+                name: update.name.clone(),
+                state,
+                by: update.reported_by.clone(),
+                restarted,
+            }));
+        }
+        if state == MemberState::Left {
+            self.gossip_state.remove_owner(&update.name);
+        }
+        self.enqueue(GossipItem::Member(update.name.clone()), now);
+    }
+
+    fn new_suspicion(&self, now: u64, update: &MemberUpdate) -> Suspicion {
+        Suspicion::new(
+            now,
+            &update.reported_by,
+            self.members.active(),
+            self.config.probe_interval,
+        )
+    }
+
+    /// Declares a known member to be in this state, on this member's own account.
+    pub(super) fn declare(
+        &mut self,
+        now: u64,
+        name: &str,
+        state: MemberState,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(record) = self.members.get(name) else {
+            return;
+        };
+        let update = MemberUpdate {
+            name: name.to_owned(),
+            address: record.address.clone(),
+            version: MemberVersion {
+                state,
+                ..record.version
+            },
+            reported_by: self.config.name.clone(),
+        };
+        self.apply_member_update(now, &update, out);
+    }
+
+    /// Declares suspects dead that did not refute in time.
+    pub(super) fn expire_suspicions(&mut self, now: u64, out: &mut Vec<Output>) {
+        let is_isolated = self.local_health_monitor.is_isolated(now);
+        for name in self.members.overdue_suspects(now) {
+            if is_isolated {
+                // An isolated member cannot know who refuted.
+                self.postpone_suspicion(&name);
+                continue;
+            }
+            self.counters.declared_dead += 1;
+            self.declare(now, &name, MemberState::Dead, out);
+        }
+    }
+
+    fn postpone_suspicion(&mut self, name: &str) {
+        let record = self.members.get_mut(name);
+        if let Some(suspicion) = record.and_then(|record| record.suspicion.as_mut()) {
+            suspicion.postpone(ISOLATED_POSTPONEMENT);
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/membership/own_identity.rs
@@ -0,0 +1,113 @@
+//! This member's own version: refutation of suspicions, and conflicts over its name.
+use super::{Membership, Output, Participation, SECOND};
+use crate::local_health::LocalHealth;
+use crate::member_state::{MemberState, MemberVersion};
+
+/// Right after the start, another process under this member's name is taken for its previous incarnation.
+const STARTUP_PERIOD: u64 = 10 * SECOND;
+/// Conflicts over the name after which the other process keeps it ...
+const MAX_CONFLICTS: u32 = 2;
+/// ... if they happen within this time.
+const CONFLICT_WINDOW: u64 = 60 * SECOND;
+/// A count of refutations or writes that no honest process comes near.
+pub(super) const IMPLAUSIBLE_COUNT: u32 = u32::MAX / 2;
+
+/// Conflicts over this member's name that it lost, within a window of time.
+#[derive(Clone)]
+pub(super) struct NameConflicts {
+    count: u32,
+    window_start: u64,
+}
+
+impl NameConflicts {
+    pub(super) fn new(now: u64) -> NameConflicts {
+        NameConflicts {
+            count: 0,
+            window_start: now,
+        }
+    }
+
+    fn record(&mut self, now: u64) {
+        if now.saturating_sub(self.window_start) > CONFLICT_WINDOW {
+            *self = NameConflicts::new(now);
+        }
+        self.count += 1;
+    }
+}
+
+impl Membership {
+    /// Handles what others report of this member: a suspicion is refuted, another incarnation is a conflict over the name.
+    pub(super) fn handle_update_of_self(
+        &mut self,
+        now: u64,
+        reported: MemberVersion,
+        out: &mut Vec<Output>,
+    ) {
+        if !reported.is_same_incarnation(&self.own_version) {
+            if reported.supersedes(&self.own_version) {
+                self.handle_name_conflict(now, reported, out);
+            }
+            return;
+        }
+        if reported.state == MemberState::Left || reported.refutations >= IMPLAUSIBLE_COUNT {
+            // Only this member itself announces that it leaves, and it never refuted that often.
+            self.counters.forged += 1;
+            self.raise_epoch(now, self.own_version.epoch + 1);
+            return;
+        }
+        if reported.state != MemberState::Alive
+            && reported.refutations >= self.own_version.refutations
+        {
+            self.refute(now, reported.refutations);
+        } else if reported.refutations > self.own_version.refutations {
+            self.counters.forged += 1;
+            self.own_version.refutations = reported.refutations;
+        }
+    }
+
+    fn refute(&mut self, now: u64, reported_refutations: u32) {
+        self.own_version.refutations = reported_refutations + 1;
+        self.local_health_monitor.worsen();
+        self.enqueue_own_version(now);
+    }
+
+    /// Handles an encounter with another process, or another incarnation of this one, under this member's name.
+    ///
+    /// Right after a start it is the previous incarnation, on a clock that was ahead: the epoch is raised above it. Why not
+    /// always: two processes that are configured under one name would raise theirs in turn for ever. The one that has run for
+    /// longer gives way, and reports that. A malicious peer that keeps forging conflicts can thereby silence a front's gossip;
+    /// the front's own limits do not depend on it.
+    pub(super) fn handle_name_conflict(
+        &mut self,
+        now: u64,
+        other: MemberVersion,
+        out: &mut Vec<Output>,
+    ) {
+        self.counters.name_conflicts += 1;
+        if self.own_version.incarnation_id() > other.incarnation_id() {
+            self.enqueue_own_version(now);
+            return;
+        }
+        self.name_conflicts.record(now);
+        let is_established = now.saturating_sub(self.started_at) >= STARTUP_PERIOD;
+        if is_established && self.name_conflicts.count >= MAX_CONFLICTS {
+            self.give_up_name(out);
+            return;
+        }
+        self.raise_epoch(now, other.epoch.saturating_add(1));
+    }
+
+    fn give_up_name(&mut self, out: &mut Vec<Output>) {
+        self.participation = Participation::Replaced;
+        self.local_health = LocalHealth::Replaced;
+        out.push(Output::LocalHealthChanged(LocalHealth::Replaced));
+    }
+
+    /// Raises the own epoch; the own entries are written again under it.
+    pub(super) fn raise_epoch(&mut self, now: u64, epoch: u64) {
+        self.own_version.epoch = epoch;
+        self.own_version.refutations = 0;
+        self.enqueue_own_version(now);
+        self.rewrite_own_entries(now);
+    }
+}
--- a/crates/membership/src/membership/probe.rs
+++ b/crates/membership/src/membership/probe.rs
@@ -1,45 +1,58 @@
-//! Probes: directly, then by helpers; who answers neither way is suspected, and gone if it does not refute in time.
-use super::{Item, LocalHealth, MemberState, MemberVersion, Membership, Output, SECOND};
+//! Probes: first direct, then through helpers. A member that answers neither way becomes suspect.
+use super::dissemination::Message;
+use super::gossip_queue::GossipItem;
+use super::{Membership, Output};
+use crate::local_health::LocalHealth;
+use crate::member_state::MemberState;
 use crate::wire::Body;
 
+/// How far a probe has come.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum ProbePhase {
+    /// A direct answer is awaited until this time.
+    AwaitingDirectAck { until: u64 },
+    /// Helpers were asked to probe the target.
+    AwaitingIndirectAck,
+    /// The target answered.
+    Acknowledged,
+}
+
+/// The probe in progress.
 #[derive(Clone)]
-pub(crate) struct Probe {
-    pub target: String,
-    pub seq: u32,
-    pub sent: u64,
-    pub direct: u64, // Until when a direct answer is waited for; 0: helpers were asked.
-    pub ends: u64,
-    pub acked: bool,
-    pub helpers: usize,
-    pub nacks: usize,
+pub(super) struct Probe {
+    target: String,
+    sequence: u32,
+    sent_at: u64,
+    phase: ProbePhase,
+    ends_at: u64,
+    helpers: usize,
+    nacks: usize,
 }
 
 impl Probe {
-    pub(super) fn next(&self) -> u64 {
-        if self.direct > 0 && !self.acked {
-            self.direct
-        } else {
-            self.ends
+    /// When the probe must be looked at next.
+    pub(super) fn next_expiry(&self) -> u64 {
+        match self.phase {
+            ProbePhase::AwaitingDirectAck { until } => until,
+            ProbePhase::AwaitingIndirectAck | ProbePhase::Acknowledged => self.ends_at,
         }
     }
-}
 
-/// A probe made for another.
-#[derive(Clone)]
-pub(crate) struct Help {
-    pub name: String,
-    pub seq: u32,
-    pub until: u64,
+    fn is_acknowledged(&self) -> bool {
+        self.phase == ProbePhase::Acknowledged
+    }
+
+    fn has_missed_direct_ack(&self, now: u64) -> bool {
+        matches!(self.phase, ProbePhase::AwaitingDirectAck { until } if now >= until)
+    }
 }
 
 impl Membership {
-    pub(super) fn probes(&mut self, now: u64, out: &mut Vec<Output>) {
-        self.ask_helpers(now, out);
-        let over = self.probe.as_ref().is_some_and(|p| now >= p.ends);
-        if over {
-            if let Some(probe) = self.probe.take() {
-                self.probed(now, &probe, out);
-            }
+    /// Carries the probe in progress on, and begins the next one when it is time.
+    pub(super) fn run_probe(&mut self, now: u64, out: &mut Vec<Output>) {
+        self.request_indirect_probes(now, out);
+        if let Some(probe) = self.probe.take_if(|probe| now >= probe.ends_at) {
+            self.finish_probe(now, &probe, out);
             self.probe_at = now;
         }
         if self.probe.is_none() && now >= self.probe_at {
@@ -47,225 +60,141 @@
         }
     }
 
-    fn ask_helpers(&mut self, now: u64, out: &mut Vec<Output>) {
-        let Some(probe) = self
-            .probe
-            .as_mut()
-            .filter(|p| !p.acked && p.direct > 0 && now >= p.direct)
-        else {
+    fn begin_probe(&mut self, now: u64, out: &mut Vec<Output>) {
+        self.probe_at = now.saturating_add(self.config.probe_interval);
+        let Some(target) = self.next_probe_target() else {
             return;
         };
-        probe.direct = 0;
-        let (target, seq) = (probe.target.clone(), probe.seq);
-        let helpers = self.some(self.settings.indirect_probes, &target);
-        let ask = Body::PingFor {
-            seq,
-            target: target.clone(),
+        let sequence = self.next_sequence();
+        // A suspect is sent its state, so that it can refute at once.
+        let items: Vec<GossipItem> = match self.members.state(&target) {
+            Some(MemberState::Suspect) => vec![GossipItem::Member(target.clone())],
+            _ => Vec::new(),
         };
-        let asked = helpers
-            .iter()
-            .filter(|h| self.send_to(now, h, &ask, &[], 0.0, out))
-            .count();
-        // Once more directly: one lost datagram is more likely than a death.
-        self.send_to(
-            now,
-            &target,
-            &Body::Ping { seq },
-            &[Item::Member(target.clone())],
-            0.0,
-            out,
-        );
-        if let Some(probe) = &mut self.probe {
-            probe.helpers = asked;
+        let ping = Body::Ping { sequence };
+        if !self.send_to_member(now, &target, Message::new(&ping).with_items(&items), out) {
+            return;
         }
+        let multiplier = self.local_health_monitor.multiplier();
+        let timeout = self.config.probe_timeout.saturating_mul(multiplier);
+        let duration = self.config.probe_interval.saturating_mul(multiplier);
+        let ends_at = now.saturating_add(duration);
+        self.probe = Some(Probe {
+            target,
+            sequence,
+            sent_at: now,
+            phase: ProbePhase::AwaitingDirectAck {
+                until: now.saturating_add(timeout).min(ends_at),
+            },
+            ends_at,
+            helpers: 0,
+            nacks: 0,
+        });
     }
 
-    fn begin_probe(&mut self, now: u64, out: &mut Vec<Output>) {
-        self.probe_at = now.saturating_add(self.settings.probe_interval);
-        let target = loop {
-            let Some(name) = self.ring.pop() else {
-                // Each once, then all anew in another order: the longest time until one is looked at is bounded.
-                self.ring = self.some(usize::MAX, "");
-                if self.ring.is_empty() {
-                    return;
+    /// The next active member of the probe round; `None` if there is none.
+    fn next_probe_target(&mut self) -> Option<String> {
+        loop {
+            if let Some(name) = self.probe_round.pop() {
+                if self.members.is_active(&name) {
+                    return Some(name);
                 }
                 continue;
-            };
-            if self
-                .others
-                .get(&name)
-                .is_some_and(|k| k.at.state <= MemberState::Suspect)
-            {
-                break name;
             }
-        };
-        self.seq = self.seq.wrapping_add(1);
-        let scale = self.health.scale();
-        let answer = self.settings.probe_timeout.saturating_mul(scale);
-        let ends = now.saturating_add(self.settings.probe_interval.saturating_mul(scale));
-        let seq = self.seq;
-        // It is told if it is suspected, so that it can refute at once.
-        let suspected = self
-            .others
-            .get(&target)
-            .is_some_and(|k| k.at.state == MemberState::Suspect);
-        let first: Vec<Item> = suspected
-            .then(|| Item::Member(target.clone()))
-            .into_iter()
-            .collect();
-        if self.send_to(now, &target, &Body::Ping { seq }, &first, 0.0, out) {
-            let direct = now.saturating_add(answer).min(ends);
-            self.probe = Some(Probe {
-                target,
-                seq,
-                sent: now,
-                direct,
-                ends,
-                acked: false,
-                helpers: 0,
-                nacks: 0,
-            });
+            // Every member is probed once a round, in a new random order: this bounds the time until a death is detected.
+            self.probe_round = self.choose_members(usize::MAX, "");
+            if self.probe_round.is_empty() {
+                return None;
+            }
         }
     }
 
-    fn probed(&mut self, now: u64, probe: &Probe, out: &mut Vec<Output>) {
-        self.health.probed(probe.acked);
-        if probe.acked {
-            return;
-        }
-        // Danger: a front whose own link is bad would accuse all. Helpers that do not even say that they could not reach
-        // the other tell that it is us.
-        if probe.nacks < probe.helpers {
-            self.health.worsen();
-        }
-        self.stand(now, out);
-        if self.standing == LocalHealth::Isolated
-            || self.health.standing(now, 1) == LocalHealth::Isolated
-        {
-            return;
-        }
-        let Some(known) = self
-            .others
-            .get(&probe.target)
-            .filter(|k| k.at.state <= MemberState::Suspect)
+    /// Asks helpers to probe the target once the direct answer is overdue.
+    fn request_indirect_probes(&mut self, now: u64, out: &mut Vec<Output>) {
+        let Some(probe) = self
+            .probe
+            .as_mut()
+            .filter(|probe| probe.has_missed_direct_ack(now))
         else {
             return;
         };
-        let at = MemberVersion {
-            state: MemberState::Suspect,
-            ..known.at
-        };
-        let (address, by) = (known.address.clone(), self.settings.name.clone());
-        self.learn(now, &probe.target, &address, at, &by, out);
-    }
-
-    pub(super) fn suspicions(&mut self, now: u64, out: &mut Vec<Output>) {
-        let due = |name: &&String| {
-            let suspicion = self.others.get(*name).and_then(|k| k.suspicion.as_ref());
-            suspicion.is_some_and(|s| now >= s.until())
+        probe.phase = ProbePhase::AwaitingIndirectAck;
+        let (target, sequence) = (probe.target.clone(), probe.sequence);
+        let request = Body::PingRequest {
+            sequence,
+            target: target.clone(),
         };
-        let due: Vec<String> = self.suspects.iter().filter(due).cloned().collect();
-        let deaf = self.health.standing(now, 1) == LocalHealth::Isolated;
-        for name in due {
-            if let Some(known) = self.others.get_mut(&name) {
-                if deaf {
-                    // Who hears nobody cannot know who refuted.
-                    known.suspicion.iter_mut().for_each(|s| s.put_off(SECOND));
-                    continue;
-                }
-                let (at, address) = (
-                    MemberVersion {
-                        state: MemberState::Gone,
-                        ..known.at
-                    },
-                    known.address.clone(),
-                );
-                self.counters.accused += 1;
-                let by = self.settings.name.clone();
-                self.learn(now, &name, &address, at, &by, out);
+        let mut helpers = 0;
+        for helper in self.choose_members(self.config.indirect_probes, &target) {
+            if self.send_to_member(now, &helper, Message::new(&request), out) {
+                helpers += 1;
             }
         }
+        // Once more directly as well: one lost datagram is more likely than a death.
+        let ping = Body::Ping { sequence };
+        let items = [GossipItem::Member(target.clone())];
+        self.send_to_member(now, &target, Message::new(&ping).with_items(&items), out);
+        if let Some(probe) = &mut self.probe {
+            probe.helpers = helpers;
+        }
     }
 
-    /// Probes for others that came to nothing: their askers hear that at least we are there.
-    pub(super) fn helps(&mut self, now: u64, out: &mut Vec<Output>) {
-        let over: Vec<u32> = self
-            .helping
-            .iter()
-            .filter(|(_, h)| now >= h.until)
-            .map(|(seq, _)| *seq)
-            .collect();
-        for seq in over {
-            if let Some(help) = self.helping.remove(&seq) {
-                self.send_to(
-                    now,
-                    &help.name,
-                    &Body::Nack { seq: help.seq },
-                    &[],
-                    0.0,
-                    out,
-                );
-            }
+    /// Evaluates a probe that ended; without an acknowledgement the target becomes suspect.
+    fn finish_probe(&mut self, now: u64, probe: &Probe, out: &mut Vec<Output>) {
+        self.local_health_monitor
+            .record_probe(probe.is_acknowledged());
+        if probe.is_acknowledged() {
+            return;
+        }
+        // Why: a front whose own link is bad would suspect everybody. Helpers that send not even a nack show that it is this
+        // front that can't be reached.
+        if probe.nacks < probe.helpers {
+            self.local_health_monitor.worsen();
+        }
+        self.update_local_health(now, out);
+        if self.local_health == LocalHealth::Isolated || self.local_health_monitor.is_isolated(now)
+        {
+            return;
+        }
+        if self.members.is_active(&probe.target) {
+            self.declare(now, &probe.target, MemberState::Suspect, out);
         }
     }
 
-    pub(super) fn help(
+    /// Handles an acknowledgement of an own probe, or of one made on behalf of another member.
+    pub(super) fn handle_ack(
         &mut self,
         now: u64,
-        asker: &str,
-        seq: u32,
-        target: &str,
+        from: &str,
+        sequence: u32,
         out: &mut Vec<Output>,
     ) {
-        self.seq = self.seq.wrapping_add(1);
-        let own = self.seq;
-        let until = now.saturating_add(self.settings.probe_timeout);
-        if self.helping.len() < 64
-            && self.send_to(
-                now,
-                target,
-                &Body::Ping { seq: own },
-                &[Item::Member(target.to_owned())],
-                0.0,
-                out,
-            )
-        {
-            self.helping.insert(
-                own,
-                Help {
-                    name: asker.to_owned(),
-                    seq,
-                    until,
-                },
-            );
-        }
-    }
-
-    pub(super) fn acked(&mut self, now: u64, from: &str, seq: u32, out: &mut Vec<Output>) {
-        if let Some(help) = self.helping.remove(&seq) {
-            self.send_to(now, &help.name, &Body::Ack { seq: help.seq }, &[], 0.0, out);
-        }
-        let Some(probe) = self.probe.as_mut().filter(|p| p.seq == seq && !p.acked) else {
+        self.forward_ack(now, sequence, out);
+        let Some(probe) = self
+            .probe
+            .as_mut()
+            .filter(|probe| probe.sequence == sequence && !probe.is_acknowledged())
+        else {
             return;
         };
-        probe.acked = true;
-        probe.ends = probe.ends.min(
-            probe
-                .sent
-                .saturating_add(self.settings.probe_interval)
-                .max(now),
-        );
+        probe.phase = ProbePhase::Acknowledged;
+        // An answer that came within a stretched timeout does not delay the next probe further.
+        let regular_end = probe.sent_at.saturating_add(self.config.probe_interval);
+        probe.ends_at = probe.ends_at.min(regular_end.max(now));
         if probe.target == from {
-            let rtt = now.saturating_sub(probe.sent);
-            self.others
-                .entry(from.to_owned())
-                .and_modify(|k| k.rtt = Some(rtt));
+            let rtt = now.saturating_sub(probe.sent_at);
+            if let Some(record) = self.members.get_mut(from) {
+                record.rtt = Some(rtt);
+            }
         }
     }
 
-    pub(super) fn nacked(&mut self, seq: u32) {
-        if let Some(probe) = self.probe.as_mut().filter(|p| p.seq == seq) {
-            probe.nacks += 1;
+    /// Handles a helper's answer that the target did not answer it.
+    pub(super) fn handle_nack(&mut self, sequence: u32) {
+        if let Some(probe) = &mut self.probe {
+            if probe.sequence == sequence {
+                probe.nacks += 1;
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/membership/src/membership/rejoin.rs
@@ -0,0 +1,88 @@
+//! Rejoining: dead members and seeds are probed from time to time, and members that are over for long are removed.
+use super::dissemination::{Destination, Message, GOSSIP_RESERVE};
+use super::gossip_queue::GossipItem;
+use super::{Membership, Output, SECOND};
+use crate::member_state::MemberState;
+use crate::wire::Body;
+
+/// Time between two attempts to reach a dead member or a seed.
+const REJOIN_INTERVAL: u64 = 2 * SECOND;
+/// Members that are dead or left for longer than this are removed.
+const REMOVE_AFTER: u64 = 600 * SECOND;
+
+impl Membership {
+    /// Probes one dead member and one seed that is not an active member.
+    ///
+    /// Why: after a partition each side takes the other for dead, and nobody would ever probe it again. The ping carries the
+    /// state that the other is taken for, and it refutes.
+    pub(super) fn rejoin(&mut self, now: u64, out: &mut Vec<Output>) {
+        self.rejoin_at = now.saturating_add(REJOIN_INTERVAL);
+        self.remove_expired(now);
+        let dead = self.dead_members();
+        let ping = Body::Ping {
+            sequence: self.next_sequence(),
+        };
+        if let Some(name) = self.choose_one(&dead) {
+            let items = [GossipItem::Member(name.clone())];
+            let message = Message::new(&ping)
+                .with_items(&items)
+                .with_reserve(GOSSIP_RESERVE);
+            self.send_to_member(now, &name, message, out);
+        }
+        let seeds = self.unreached_seeds();
+        if let Some(address) = self.choose_one(&seeds) {
+            let to = Destination {
+                name: "",
+                address: &address,
+            };
+            let message = Message::new(&ping).with_reserve(GOSSIP_RESERVE);
+            self.send(now, to, message, out);
+        }
+    }
+
+    fn remove_expired(&mut self, now: u64) {
+        let expired: Vec<String> = self
+            .members
+            .iter()
+            .filter(|(_, record)| !record.version.state.is_active())
+            .filter(|(_, record)| now.saturating_sub(record.since) >= REMOVE_AFTER)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in expired {
+            self.members.remove(&name);
+            self.gossip_state.remove_owner(&name);
+        }
+    }
+
+    fn dead_members(&self) -> Vec<String> {
+        self.members
+            .iter()
+            .filter(|(_, record)| record.version.state == MemberState::Dead)
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
+    /// Seeds at whose address no active member is known.
+    fn unreached_seeds(&self) -> Vec<String> {
+        let is_reached = |seed: &String| {
+            self.members
+                .iter()
+                .any(|(_, record)| record.address == *seed && record.version.state.is_active())
+        };
+        self.config
+            .seeds
+            .iter()
+            .filter(|seed| **seed != self.config.address && !is_reached(seed))
+            .cloned()
+            .collect()
+    }
+
+    /// One of these at random.
+    fn choose_one(&mut self, candidates: &[String]) -> Option<String> {
+        if candidates.is_empty() {
+            return None;
+        }
+        let index = self.rng.rand_range(0..candidates.len() as u32) as usize;
+        Some(candidates[index].clone())
+    }
+}
--- a/crates/membership/src/model_check.rs
+++ /dev/null
@@ -1,2 +0,0 @@
-//! Model checking of the membership state machine (test builds only).
-mod tests;
--- a/crates/membership/src/suspicion.rs
+++ b/crates/membership/src/suspicion.rs
@@ -1,55 +1,65 @@
-//! How long a suspected member has to refute: the more members suspect it, the shorter.
+//! The suspicion timeout: the more members suspect a member, the less time it has to refute.
 use std::collections::BTreeSet;
 
-/// Members that must confirm before the shortest time holds.
-const ENOUGH: u32 = 3;
-/// The longest time is this multiple of the shortest.
-const PATIENCE: f64 = 6.0;
+/// Confirmations by other members after which the shortest timeout holds (Lifeguard's `k`).
+const CONFIRMATIONS: u32 = 3;
+/// The longest timeout is this multiple of the shortest (Lifeguard's `beta`).
+const MAX_TIMEOUT_MULTIPLIER: f64 = 6.0;
+/// The shortest timeout is this multiple of the probe interval, times the logarithm of the fleet's size (Lifeguard's `alpha`).
+const MIN_TIMEOUT_MULTIPLIER: f64 = 4.0;
 
-/// Why a member is suspected, and until when it may refute.
+/// Who suspects a member, and until when it may refute.
 #[derive(Clone, Debug)]
 pub(crate) struct Suspicion {
     since: u64,
-    shortest: f64,
-    needed: u32,
-    by: BTreeSet<String>,
+    min_timeout: f64, // Nanoseconds.
+    confirmations_needed: u32,
+    accusers: BTreeSet<String>,
 }
 
 impl Suspicion {
-    /// Suspected since `now` by `by`, one of `alive` members that probe each `every` nanoseconds. Danger: a fixed time is too
-    /// long where all see the death and too short where one front alone is deaf (Lifeguard's dynamic suspicion).
-    pub(crate) fn new(now: u64, by: &str, alive: usize, every: u64) -> Suspicion {
-        let scale = (alive.max(1) as f64).log10().max(1.0);
-        let needed = ENOUGH.min(u32::try_from(alive.saturating_sub(2)).unwrap_or(ENOUGH));
-        let shortest = 4.0 * scale * every as f64;
+    /// A suspicion that `accuser` raised at `now`, in a fleet of `active_members` that probe every `probe_interval` nanoseconds.
+    ///
+    /// Why a timeout that shrinks: a fixed one is too long where all members see the death, and too short where only one of
+    /// them, whose own link is bad, does (Lifeguard's dynamic suspicion).
+    pub(crate) fn new(
+        now: u64,
+        accuser: &str,
+        active_members: usize,
+        probe_interval: u64,
+    ) -> Suspicion {
+        let scale = (active_members.max(1) as f64).log10().max(1.0);
+        let witnesses = u32::try_from(active_members.saturating_sub(2)).unwrap_or(CONFIRMATIONS);
         Suspicion {
             since: now,
-            shortest,
-            needed,
-            by: BTreeSet::from([by.to_owned()]),
+            min_timeout: MIN_TIMEOUT_MULTIPLIER * scale * probe_interval as f64,
+            confirmations_needed: CONFIRMATIONS.min(witnesses),
+            accusers: BTreeSet::from([accuser.to_owned()]),
         }
     }
 
-    /// Another member says so; true if it had not before.
-    pub(crate) fn confirm(&mut self, by: &str) -> bool {
-        self.by.len() <= self.needed as usize && self.by.insert(by.to_owned())
+    /// Adds another accuser; true if it is a new one that shortens the timeout.
+    pub(crate) fn confirm(&mut self, accuser: &str) -> bool {
+        self.accusers.len() <= self.confirmations_needed as usize
+            && self.accusers.insert(accuser.to_owned())
     }
 
-    /// When it counts as gone.
-    pub(crate) fn until(&self) -> u64 {
-        let longest = PATIENCE * self.shortest;
-        let confirmed = (self.by.len() as f64 - 1.0).max(0.0);
-        let part = if self.needed == 0 {
+    /// When the member is declared dead unless it refutes.
+    pub(crate) fn deadline(&self) -> u64 {
+        let max_timeout = MAX_TIMEOUT_MULTIPLIER * self.min_timeout;
+        let confirmations = (self.accusers.len() as f64 - 1.0).max(0.0);
+        let shortened_by = if self.confirmations_needed == 0 {
             1.0
         } else {
-            (confirmed + 1.0).ln() / (f64::from(self.needed) + 1.0).ln()
+            (confirmations + 1.0).ln() / (f64::from(self.confirmations_needed) + 1.0).ln()
         };
-        let time = (longest - (longest - self.shortest) * part).max(self.shortest);
-        self.since.saturating_add(time as u64)
+        let timeout = max_timeout - (max_timeout - self.min_timeout) * shortened_by;
+        self.since
+            .saturating_add(timeout.max(self.min_timeout) as u64)
     }
 
-    /// We stood still: nobody could refute meanwhile, as far as we would have heard.
-    pub(crate) fn put_off(&mut self, by: u64) {
+    /// Postpones the deadline by a time in which no refutation could have been received.
+    pub(crate) fn postpone(&mut self, by: u64) {
         self.since = self.since.saturating_add(by);
     }
 }
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -1,117 +1,140 @@
-//! Datagrams: two letters, a version, a keyed checksum, then sections. A section of an unknown kind is passed over, so that
-//! a later version may add some.
-use crate::gossip_state::Written;
+//! The datagram format: two magic bytes, a version, a keyed checksum, then sections. A section of an unknown kind is skipped,
+//! so that a later version may add some. Bodies of sections are in postcard: fields and variants are encoded by their order.
+#[cfg(test)]
+mod tests;
+
+use crate::error::DecodeError;
+use crate::gossip_state::{EntryDigest, EntryKey, EntryUpdate};
 use crate::member_state::MemberVersion;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher24;
 use std::hash::Hasher;
 
-/// Bytes of a datagram at most: it goes through common links in one piece.
-pub const MOST: usize = 1200;
-const MARK: [u8; 2] = *b"cp";
+/// The longest datagram, bytes. Why: it passes common links without fragmentation.
+pub(crate) const MAX_DATAGRAM_BYTES: usize = 1200;
+const MAGIC: [u8; 2] = *b"cp";
 const VERSION: u8 = 1;
-const HEADER: usize = 3 + 8;
-
-const HEAD: u8 = 1;
-const BODY: u8 = 2;
-const NEWS: u8 = 3;
-const ENTRY: u8 = 4;
-
-/// Why a datagram was dropped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fault {
-    /// It is none of these, or broken.
-    Garbage,
-    /// It is of a version that can't be read.
-    Version,
-    /// Its checksum fails: another fleet's key, or damaged on the way.
-    Checksum,
+/// Where the checksum begins: behind the magic bytes and the version.
+const CHECKSUM_AT: usize = MAGIC.len() + 1;
+const CHECKSUM_BYTES: usize = 8;
+/// Where the sections begin.
+const SECTIONS_AT: usize = CHECKSUM_AT + CHECKSUM_BYTES;
+/// A section's kind (one byte) and length (two bytes).
+const SECTION_HEADER_BYTES: usize = 3;
+/// What a builder reserves at first, bytes: most datagrams are shorter.
+const USUAL_DATAGRAM_BYTES: usize = 256;
+
+/// Kinds of sections.
+mod section_kind {
+    pub(super) const HEADER: u8 = 1;
+    pub(super) const BODY: u8 = 2;
+    pub(super) const MEMBER_UPDATE: u8 = 3;
+    pub(super) const ENTRY_UPDATE: u8 = 4;
 }
 
-/// Who sends, and to whom.
+/// The sender and the addressee.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Head {
+pub(crate) struct Header {
     pub from: String,
     pub address: String,
-    pub at: MemberVersion,
-    pub to: String, // Empty: whoever is there.
+    pub version: MemberVersion,
+    pub to: String, // Empty: whoever receives it.
 }
 
-/// News of a member.
+/// What is known of a member.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct News {
+pub(crate) struct MemberUpdate {
     pub name: String,
     pub address: String,
-    pub at: MemberVersion,
-    pub by: String, // Who found it so. Danger: who only passes it on would count as another witness.
+    pub version: MemberVersion,
+    /// Who found the member in this state. Why not the sender: a member that only forwards a suspicion would count as another
+    /// accuser.
+    pub reported_by: String,
 }
 
-pub(crate) type Version = (u64, u64, u32);
+/// A member's version as a digest lists it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct MemberDigest {
+    pub name: String,
+    pub version: MemberVersion,
+}
 
+/// What a datagram is for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Body {
-    Ping {
-        seq: u32,
-    },
-    /// Ping that one for me.
-    PingFor {
-        seq: u32,
-        target: String,
-    },
-    Ack {
-        seq: u32,
-    },
-    /// The helper is there, but the target did not answer it.
-    Nack {
-        seq: u32,
-    },
+    /// A probe.
+    Ping { sequence: u32 },
+    /// Asks the receiver to probe `target` on behalf of the sender (SWIM's indirect probe).
+    PingRequest { sequence: u32, target: String },
+    /// Acknowledges a probe.
+    Ack { sequence: u32 },
+    /// The helper of an indirect probe is alive, but the target did not answer it (Lifeguard).
+    Nack { sequence: u32 },
+    /// Nothing but the updates that come with it.
     Gossip,
-    /// What the sender knows, a part of it.
+    /// Versions of a part of what the sender knows (anti-entropy).
     Digest {
-        members: Vec<(String, MemberVersion)>,
-        entries: Vec<(String, u8, Version)>,
+        members: Vec<MemberDigest>,
+        entries: Vec<EntryDigest>,
     },
-    /// What the sender wants of what it was told to be there.
-    Want {
+    /// Requests the updates of a digest that the sender lacks.
+    Pull {
         members: Vec<String>,
-        entries: Vec<(String, u8)>,
+        entries: Vec<EntryKey>,
     },
 }
 
-/// A datagram as it was read.
+/// A decoded datagram.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Datagram {
-    pub head: Head,
+    pub header: Header,
     pub body: Body,
-    pub news: Vec<News>,
-    pub entries: Vec<Written>,
+    pub member_updates: Vec<MemberUpdate>,
+    pub entry_updates: Vec<EntryUpdate>,
 }
 
-/// Builds a datagram as long as things fit.
-pub(crate) struct Builder(Vec<u8>);
+/// Builds a datagram; sections are added as long as they fit.
+pub(crate) struct DatagramBuilder(Vec<u8>);
 
-impl Builder {
-    pub(crate) fn new(head: &Head, body: &Body) -> Builder {
-        let mut bytes = Vec::with_capacity(256);
-        bytes.extend(MARK);
+impl DatagramBuilder {
+    pub(crate) fn new(header: &Header, body: &Body) -> DatagramBuilder {
+        let mut bytes = Vec::with_capacity(USUAL_DATAGRAM_BYTES);
+        bytes.extend(MAGIC);
         bytes.push(VERSION);
-        bytes.extend([0; 8]);
-        let mut builder = Builder(bytes);
-        builder.section(HEAD, head);
-        builder.section(BODY, body);
+        bytes.extend([0; CHECKSUM_BYTES]);
+        let mut builder = DatagramBuilder(bytes);
+        builder.add_section(section_kind::HEADER, header);
+        builder.add_section(section_kind::BODY, body);
         builder
     }
 
+    /// Adds an update of a member; false if it does not fit.
+    pub(crate) fn add_member_update(&mut self, update: &MemberUpdate) -> bool {
+        self.add_section(section_kind::MEMBER_UPDATE, update)
+    }
+
+    /// Adds an update of an entry; false if it does not fit.
+    pub(crate) fn add_entry_update(&mut self, update: &EntryUpdate) -> bool {
+        self.add_section(section_kind::ENTRY_UPDATE, update)
+    }
+
+    /// The finished datagram, with its checksum under the fleet's key.
+    pub(crate) fn finish(mut self, key: &[u8; 16]) -> Vec<u8> {
+        let checksum = checksum(key, &self.0[SECTIONS_AT..]);
+        self.0[CHECKSUM_AT..SECTIONS_AT].copy_from_slice(&checksum.to_le_bytes());
+        self.0
+    }
+
     /// False if it does not fit; nothing is added then.
-    fn section<T: Serialize>(&mut self, kind: u8, of: &T) -> bool {
-        let Ok(bytes) = postcard::to_allocvec(of) else {
+    fn add_section<T: Serialize>(&mut self, kind: u8, content: &T) -> bool {
+        let Ok(bytes) = postcard::to_allocvec(content) else {
             return false;
         };
         let Ok(length) = u16::try_from(bytes.len()) else {
             return false;
         };
-        if self.0.len() + 3 + bytes.len() > MOST {
+        if self.0.len() + SECTION_HEADER_BYTES + bytes.len() > MAX_DATAGRAM_BYTES {
             return false;
         }
         self.0.push(kind);
@@ -119,168 +142,85 @@
         self.0.extend(bytes);
         true
     }
-
-    pub(crate) fn news(&mut self, news: &News) -> bool {
-        self.section(NEWS, news)
-    }
-
-    pub(crate) fn entry(&mut self, entry: &Written) -> bool {
-        self.section(ENTRY, entry)
-    }
-
-    pub(crate) fn finish(mut self, key: &[u8; 16]) -> Vec<u8> {
-        let sum = checksum(key, &self.0[HEADER..]);
-        self.0[3..HEADER].copy_from_slice(&sum.to_le_bytes());
-        self.0
-    }
 }
 
-fn checksum(key: &[u8; 16], bytes: &[u8]) -> u64 {
+fn checksum(key: &[u8; 16], sections: &[u8]) -> u64 {
     let mut hasher = SipHasher24::new_with_key(key);
     hasher.write(&[VERSION]);
-    hasher.write(bytes);
+    hasher.write(sections);
     hasher.finish()
 }
 
-/// Reads a datagram of a fleet with this key.
-pub(crate) fn read(key: &[u8; 16], bytes: &[u8]) -> Result<Datagram, Fault> {
-    if bytes.len() < HEADER || bytes.len() > MOST || bytes[..2] != MARK {
-        return Err(Fault::Garbage);
-    }
-    if bytes[2] != VERSION {
-        return Err(Fault::Version);
-    }
-    if bytes[3..HEADER] != checksum(key, &bytes[HEADER..]).to_le_bytes() {
-        return Err(Fault::Checksum);
-    }
-    let (mut head, mut body, mut news, mut entries) = (None, None, Vec::new(), Vec::new());
-    let mut rest = &bytes[HEADER..];
+/// Decodes a datagram of the fleet with this key.
+///
+/// # Errors
+/// It is malformed, of another version, or its checksum does not match.
+pub(crate) fn decode(key: &[u8; 16], bytes: &[u8]) -> Result<Datagram, DecodeError> {
+    let sections = verified_sections(key, bytes)?;
+    let mut header = None;
+    let mut body = None;
+    let mut member_updates = Vec::new();
+    let mut entry_updates = Vec::new();
+    let mut rest = sections;
     while !rest.is_empty() {
-        let [kind, low, high, more @ ..] = rest else {
-            return Err(Fault::Garbage);
-        };
-        let length = usize::from(u16::from_le_bytes([*low, *high]));
-        if length > more.len() {
-            return Err(Fault::Garbage);
-        }
-        let (section, behind) = more.split_at(length);
-        match *kind {
-            HEAD => head = Some(part(section)?),
-            BODY => body = Some(part(section)?),
-            NEWS => news.push(part(section)?),
-            ENTRY => entries.push(part(section)?),
+        let (section, behind) = split_section(rest)?;
+        match section.kind {
+            section_kind::HEADER => header = Some(decode_section(section.content)?),
+            section_kind::BODY => body = Some(decode_section(section.content)?),
+            section_kind::MEMBER_UPDATE => member_updates.push(decode_section(section.content)?),
+            section_kind::ENTRY_UPDATE => entry_updates.push(decode_section(section.content)?),
             _ => {}
         }
         rest = behind;
     }
-    match (head, body) {
-        (Some(head), Some(body)) => Ok(Datagram {
-            head,
-            body,
-            news,
-            entries,
-        }),
-        _ => Err(Fault::Garbage),
-    }
+    Ok(Datagram {
+        header: header.ok_or(DecodeError::Malformed)?,
+        body: body.ok_or(DecodeError::Malformed)?,
+        member_updates,
+        entry_updates,
+    })
 }
 
-/// A section may be longer than what is known of it: a later version may add fields at its end.
-fn part<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Fault> {
-    postcard::take_from_bytes(bytes)
-        .map(|(part, _)| part)
-        .map_err(|_| Fault::Garbage)
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::member_state::MemberState;
-
-    fn head() -> Head {
-        let at = MemberVersion {
-            epoch: 7,
-            incarnation: 8,
-            refutations: 9,
-            state: MemberState::Alive,
-        };
-        Head {
-            from: "a".into(),
-            address: "x:1".into(),
-            at,
-            to: "b".into(),
-        }
+/// Checks what comes before the sections and returns them.
+fn verified_sections<'a>(key: &[u8; 16], bytes: &'a [u8]) -> Result<&'a [u8], DecodeError> {
+    let has_valid_length = (SECTIONS_AT..=MAX_DATAGRAM_BYTES).contains(&bytes.len());
+    if !has_valid_length || !bytes.starts_with(&MAGIC) {
+        return Err(DecodeError::Malformed);
     }
-
-    #[test]
-    fn what_was_written_is_read_and_all_else_is_told_apart() {
-        let (key, other) = ([1; 16], [2; 16]);
-        let mut builder = Builder::new(&head(), &Body::Ping { seq: 5 });
-        let news = News {
-            name: "c".into(),
-            address: "y:2".into(),
-            at: head().at,
-            by: "a".into(),
-        };
-        assert!(builder.news(&news));
-        let bytes = builder.finish(&key);
-        let datagram = read(&key, &bytes).expect("whole");
-        assert_eq!(
-            (&datagram.body, &datagram.news[..]),
-            (&Body::Ping { seq: 5 }, &[news][..])
-        );
-        assert_eq!(read(&other, &bytes), Err(Fault::Checksum), "another fleet");
-        let mut later = bytes.clone();
-        later[2] = 2;
-        assert_eq!(read(&key, &later), Err(Fault::Version));
-        for cut in 0..bytes.len() {
-            assert!(read(&key, &bytes[..cut]).is_err(), "cut at {cut}");
-        }
-        for at in 3..bytes.len() {
-            let mut damaged = bytes.clone();
-            damaged[at] ^= 0x10;
-            assert_eq!(
-                read(&key, &damaged),
-                Err(Fault::Checksum),
-                "damaged at {at}"
-            );
-        }
+    if bytes[MAGIC.len()] != VERSION {
+        return Err(DecodeError::UnsupportedVersion);
     }
-
-    #[test]
-    fn sections_of_a_later_version_are_passed_over() {
-        let mut builder = Builder::new(&head(), &Body::Gossip);
-        assert!(builder.section(200, &"what is not known yet"));
-        assert!(builder.section(
-            NEWS,
-            &(
-                News {
-                    name: "c".into(),
-                    address: "y".into(),
-                    at: head().at,
-                    by: "a".into()
-                },
-                77u32
-            )
-        ));
-        let datagram = read(&[3; 16], &builder.finish(&[3; 16])).expect("readable");
-        assert_eq!(datagram.news[0].name, "c");
+    let sections = &bytes[SECTIONS_AT..];
+    if bytes[CHECKSUM_AT..SECTIONS_AT] != checksum(key, sections).to_le_bytes() {
+        return Err(DecodeError::ChecksumMismatch);
     }
+    Ok(sections)
+}
 
-    #[test]
-    fn a_datagram_stays_within_its_bound() {
-        let mut builder = Builder::new(&head(), &Body::Gossip);
-        let news = News {
-            name: "n".repeat(60),
-            address: "a".repeat(40),
-            at: head().at,
-            by: "a".into(),
-        };
-        let count = (0..100).filter(|_| builder.news(&news)).count();
-        let bytes = builder.finish(&[0; 16]);
-        assert!(
-            count > 5 && bytes.len() <= MOST,
-            "{count} in {} bytes",
-            bytes.len()
-        );
-    }
+struct Section<'a> {
+    kind: u8,
+    content: &'a [u8],
+}
+
+/// The first section and the bytes behind it.
+fn split_section(bytes: &[u8]) -> Result<(Section<'_>, &[u8]), DecodeError> {
+    let [kind, low, high, rest @ ..] = bytes else {
+        return Err(DecodeError::Malformed);
+    };
+    let length = usize::from(u16::from_le_bytes([*low, *high]));
+    let (content, behind) = rest
+        .split_at_checked(length)
+        .ok_or(DecodeError::Malformed)?;
+    let section = Section {
+        kind: *kind,
+        content,
+    };
+    Ok((section, behind))
+}
+
+/// A section may be longer than its known fields: a later version may add some at its end.
+fn decode_section<T: DeserializeOwned>(content: &[u8]) -> Result<T, DecodeError> {
+    postcard::take_from_bytes(content)
+        .map(|(decoded, _)| decoded)
+        .map_err(|_| DecodeError::Malformed)
 }
--- a/crates/membership/tests/fleet.rs
+++ b/crates/membership/tests/fleet.rs
@@ -47,7 +47,7 @@
         dead.iter().for_each(|i| net.kill(*i));
         let from = net.now;
         let took = net.until(60 * SECOND, |net| {
-            net.all(&living, &dead, MemberState::Gone)
+            net.all(&living, &dead, MemberState::Dead)
         });
         assert!(
             took.is_some_and(|t| t <= 40 * SECOND),
@@ -137,7 +137,7 @@
     net.weather.lets = Box::new(|a, b| (a == 0) == (b == 0));
     let from = net.now;
     let others: Vec<usize> = (1..20).collect();
-    let took = net.until(90 * SECOND, |net| net.all(&others, &[0], MemberState::Gone));
+    let took = net.until(90 * SECOND, |net| net.all(&others, &[0], MemberState::Dead));
     assert!(took.is_some(), "the others see that it is gone");
     net.run(30 * SECOND);
     assert!(
@@ -177,7 +177,7 @@
     );
     net.weather.lets = Box::new(|a, _| a != 3); // It hears all and is heard by none.
     net.run(60 * SECOND);
-    assert!(net.all(&[0, 1, 2, 4, 5], &[3], MemberState::Gone));
+    assert!(net.all(&[0, 1, 2, 4, 5], &[3], MemberState::Dead));
     let wrong: Vec<_> = net
         .accused(from)
         .into_iter()
@@ -237,7 +237,7 @@
         );
         assert!(others
             .iter()
-            .any(|i| net.nodes[*i].peers.counters().old_lives > 0));
+            .any(|i| net.nodes[*i].peers.counters().previous_incarnation > 0));
     }
 }
 
@@ -399,11 +399,11 @@
     net.run(10 * SECOND);
     let after = net.nodes[1].peers.counters();
     assert!(
-        after.sent.0 - before.sent.0 <= 700,
+        after.datagrams_sent - before.datagrams_sent <= 700,
         "{} datagrams in 10 s",
-        after.sent.0 - before.sent.0
+        after.datagrams_sent - before.datagrams_sent
     );
-    assert_eq!(after.garbage - before.garbage, 2);
+    assert_eq!(after.malformed - before.malformed, 2);
     assert!(net.accused(from).is_empty());
 }
 
@@ -443,16 +443,15 @@
 fn what_a_front_sends_does_not_grow_with_the_fleet() {
     let sent = |n: usize| {
         let mut net = joined(n, 15);
-        let before: Vec<_> = net
-            .nodes
-            .iter()
-            .map(|node| node.peers.counters().sent)
-            .collect();
+        let before: Vec<_> = net.nodes.iter().map(|node| node.peers.counters()).collect();
         net.run(20 * SECOND);
-        let after = net.nodes.iter().map(|node| node.peers.counters().sent);
-        let rates = after
-            .zip(before)
-            .map(|(a, b)| ((a.0 - b.0) as f64 / 20.0, (a.1 - b.1) as f64 / 20.0));
+        let after = net.nodes.iter().map(|node| node.peers.counters());
+        let rates = after.zip(before).map(|(after, before)| {
+            (
+                (after.datagrams_sent - before.datagrams_sent) as f64 / 20.0,
+                (after.bytes_sent - before.bytes_sent) as f64 / 20.0,
+            )
+        });
         rates.fold((0.0f64, 0.0f64), |most, r| {
             (most.0.max(r.0), most.1.max(r.1))
         })
--- a/crates/membership/tests/wire_bytes.rs
+++ b/crates/membership/tests/wire_bytes.rs
@@ -162,9 +162,11 @@
     }
     for (owner, key) in [("b", 7), ("c", 200)] {
         if let Some(entry) = reader.entry(0, owner, key) {
+            let version = entry.version;
+            let version = (version.epoch, version.incarnation, version.write_count);
             text += &format!(
-                "{owner}/{key} {:?} {} {:?}; ",
-                entry.value, entry.age, entry.version
+                "{owner}/{key} {:?} {} {version:?}; ",
+                entry.value, entry.age
             );
         }
     }
--- a/crates/testbed/src/membership_poll.rs
+++ b/crates/testbed/src/membership_poll.rs
@@ -191,7 +191,7 @@
     match told {
         PeerState::Alive => MemberState::Alive,
         PeerState::Suspect => MemberState::Suspect,
-        PeerState::Gone => MemberState::Gone,
+        PeerState::Gone => MemberState::Dead,
         PeerState::Left => MemberState::Left,
     }
 }
