--- a/crates/fault-simulation/src/lib.rs
+++ b/crates/fault-simulation/src/lib.rs
@@ -4,13 +4,13 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 mod cluster;
-mod net;
 mod network_conditions;
 mod runner;
 mod scenario;
+mod simulated_network;
 
 pub use cluster::{all, Cuts, Rate, Turn, World};
-pub use net::{name, number, settings, Net, Node, MS, SECOND};
 pub use network_conditions::{Lets, Weather};
 pub use runner::{play, Judged, Played};
 pub use scenario::{parse, Act, Bound, Case, Claim, Fronts, Power, Spoil, Step, CASES};
+pub use simulated_network::{name, number, settings, Net, Node, MS, SECOND};
--- a/crates/fault-simulation/src/runner.rs
+++ b/crates/fault-simulation/src/runner.rs
@@ -1,7 +1,7 @@
 //! Plays a case on a fleet and judges what is claimed of it.
 use crate::cluster::{all, Rate, Turn, World};
-use crate::net::{MS, SECOND};
 use crate::scenario::{Case, Claim, Step};
+use crate::simulated_network::{MS, SECOND};
 use crankpaddle_membership::MemberState;
 use std::collections::BTreeSet;
 
