--- a/crates/cli/src/lab/fleet.rs
+++ b/crates/cli/src/lab/fleet.rs
@@ -2,7 +2,7 @@
 use super::{named, read_day, temporary, wrong};
 use crate::{Failure, BAD_FILE};
 use clap::Args;
-use crankpaddle_fault_simulation::{Case, Net, Played, CASES};
+use crankpaddle_fault_simulation::{Case, CaseResult, SimulatedNetwork, CASES};
 use crankpaddle_testbed::fleet::{Memory, Plan};
 use crankpaddle_testbed::scenario_runner;
 use std::path::PathBuf;
@@ -105,10 +105,10 @@
         case.name, args.seed, case.what
     );
     if args.virtually {
-        let mut net = Net::of(&case, args.fronts as usize, args.seed);
+        let mut net = SimulatedNetwork::for_case(&case, args.fronts as usize, args.seed);
         let played =
-            crankpaddle_fault_simulation::play(&case, &mut net).map_err(|what| Failure {
-                what,
+            crankpaddle_fault_simulation::play(&case, &mut net).map_err(|error| Failure {
+                what: error.to_string(),
                 status: BAD_FILE,
             })?;
         let (kept, all) = tell(&played);
@@ -138,18 +138,18 @@
     })
 }
 
-fn tell(played: &Played) -> (usize, usize) {
+fn tell(played: &CaseResult) -> (usize, usize) {
     for claim in &played.claims {
         eprintln!(
             "{}: {}: {}",
-            if claim.kept { "kept" } else { "BROKEN" },
+            if claim.holds { "kept" } else { "BROKEN" },
             claim.what,
             claim.measured
         );
     }
     let (datagrams, bytes) = played.sent;
     eprintln!("sent by one front at most: {datagrams:.1} datagrams, {bytes:.0} bytes a second");
-    played.kept()
+    played.satisfied_claims()
 }
 
 fn processes(case: &Case, args: &FleetArgs) -> Result<ExitCode, Failure> {
--- a/crates/fault-simulation/examples/foca.rs
+++ b/crates/fault-simulation/examples/foca.rs
@@ -1,9 +1,11 @@
-//! The registry crate `foca` on the same net and by the same cases as the project's own members, to weigh one against the other:
-//! `cargo run --release -p crankpaddle-fault-simulation --example foca -- CASE FRONTS SEED`. Its settings are those that it gives for a
-//! local net, but for members that are down, which are asked every 2 s as ours are (65 s there). It has no standing of one's own, no
-//! board, and no word for who left; claims on these are broken by that alone.
+//! The registry crate `foca` on the same simulated network and in the same cases as the project's own membership, for comparison:
+//! `cargo run --release -p crankpaddle-fault-simulation --example foca -- CASE FRONTS SEED`. It has its own configuration for a local
+//! network, but members that are down are announced to every 2 s as ours are (65 s there). It has no local health, no gossip
+//! state and no state for members that left; claims on these don't hold for that reason alone.
 use crankpaddle_fault_simulation::{
-    name, parse, play, Act, Case, Fronts, Rate, Turn, Weather, World, CASES, MS, SECOND,
+    carry_out, front_name, parse, play, Act, ActionError, Case, Cluster, Entry, EventQueue, Link,
+    MemberTransition, NetworkConditions, Power, Rate, SimulatedProcesses, CASES, SECOND,
+    SOCKET_BACKLOG, START_OF_TIME, USUAL_DELAY,
 };
 use crankpaddle_membership::{LocalHealth, MemberState};
 use foca::{
@@ -13,18 +15,18 @@
 use rand_for_foca::rngs::StdRng;
 use rand_for_foca::SeedableRng;
 use serde::{Deserialize, Serialize};
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
 use std::num::{NonZeroU32, NonZeroUsize};
 use std::time::Duration;
 
-const USUAL: (u64, u64) = (MS / 5, 2 * MS);
-const BACKLOG: usize = 200;
+/// Time between two attempts to join through the seeds.
+const JOIN_INTERVAL: u64 = 2 * SECOND;
+/// Incarnations of a restarted process are this far apart: `foca` itself raises them by one.
+const INCARNATION_STEP: u64 = 1000;
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Id {
     number: u32,
-    life: u64,
+    incarnation: u64,
 }
 
 impl Identity for Id {
@@ -32,7 +34,7 @@
 
     fn renew(&self) -> Option<Id> {
         Some(Id {
-            life: self.life + 1,
+            incarnation: self.incarnation + 1,
             ..self.clone()
         })
     }
@@ -42,7 +44,7 @@
     }
 
     fn win_addr_conflict(&self, adversary: &Id) -> bool {
-        self.life > adversary.life
+        self.incarnation > adversary.incarnation
     }
 }
 
@@ -50,54 +52,52 @@
 
 struct Node {
     member: Member,
-    up: bool,
-    stopped: bool,
-    life: u64,
+    is_running: bool,
+    is_paused: bool,
+    incarnation: u64,
     backlog: Vec<Vec<u8>>,
-    late: Vec<Timer<Id>>, // Timers that fell due while it stood still.
-    states: Vec<Option<(MemberState, u64)>>,
-    sent: (u64, u64),
+    overdue_timers: Vec<Timer<Id>>, // Timers that expired while it was paused.
+    views: Vec<Option<View>>,
+    datagrams_sent: u64,
+    bytes_sent: u64,
 }
 
-enum Event {
-    Datagram(usize, Vec<u8>),
-    Timer(usize, u64, Timer<Id>),
-    Seek(usize, u64),
+/// What a member knows of another.
+#[derive(Clone, Copy)]
+struct View {
+    state: MemberState,
+    incarnation: u64,
 }
 
-struct Queued(u64, u64, Event);
-
-impl PartialEq for Queued {
-    fn eq(&self, other: &Queued) -> bool {
-        (self.0, self.1) == (other.0, other.1)
-    }
-}
-impl Eq for Queued {}
-impl PartialOrd for Queued {
-    fn partial_cmp(&self, other: &Queued) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Queued {
-    fn cmp(&self, other: &Queued) -> std::cmp::Ordering {
-        (self.0, self.1).cmp(&(other.0, other.1))
-    }
+enum Event {
+    Datagram {
+        to: usize,
+        bytes: Vec<u8>,
+    },
+    Timer {
+        node: usize,
+        incarnation: u64,
+        timer: Timer<Id>,
+    },
+    Join {
+        node: usize,
+        incarnation: u64,
+    },
 }
 
-struct Net {
+struct FocaNetwork {
     now: u64,
     nodes: Vec<Node>,
     seeds: Vec<usize>,
-    weather: Weather,
-    queue: BinaryHeap<Reverse<Queued>>,
-    count: u64,
+    conditions: NetworkConditions,
+    queue: EventQueue<Event>,
     rng: oorandom::Rand64,
-    turns: Vec<Turn>,
-    lives: u64,
+    transitions: Vec<MemberTransition>,
+    last_incarnation: u64,
 }
 
-fn member(n: usize, i: usize, life: u64, seed: u64) -> Member {
-    let size = NonZeroU32::new(n as u32).expect("fronts");
+fn member(fronts: usize, number: usize, incarnation: u64, seed: u64) -> Member {
+    let size = NonZeroU32::new(fronts as u32).expect("fronts");
     let config = Config {
         periodic_announce_to_down_members: Some(PeriodicParams {
             frequency: Duration::from_secs(2),
@@ -105,162 +105,256 @@
         }),
         ..Config::new_lan(size)
     };
-    let rng = StdRng::seed_from_u64(seed);
-    Foca::new(
-        Id {
-            number: i as u32,
-            life,
-        },
-        config,
-        rng,
-        PostcardCodec,
-    )
+    let id = Id {
+        number: number as u32,
+        incarnation,
+    };
+    Foca::new(id, config, StdRng::seed_from_u64(seed), PostcardCodec)
 }
 
-impl Net {
-    fn of(case: &Case, n: usize, seed: u64) -> Net {
-        let mut net = Net {
-            now: 100 * SECOND,
+impl FocaNetwork {
+    fn for_case(case: &Case, fronts: usize, seed: u64) -> FocaNetwork {
+        let mut network = FocaNetwork {
+            now: START_OF_TIME,
             nodes: Vec::new(),
-            seeds: case.seeds.of(n),
-            weather: Weather::fair(USUAL),
-            queue: BinaryHeap::new(),
-            count: 0,
+            seeds: case.seeds.of(fronts),
+            conditions: NetworkConditions::good(USUAL_DELAY),
+            queue: EventQueue::default(),
             rng: oorandom::Rand64::new(u128::from(seed)),
-            turns: Vec::new(),
-            lives: 1000,
+            transitions: Vec::new(),
+            last_incarnation: INCARNATION_STEP,
         };
-        for i in 0..n {
-            net.nodes.push(Node {
-                member: member(n, i, 1, net.rng.rand_u64()),
-                up: false,
-                stopped: false,
-                life: 1,
+        for number in 0..fronts {
+            network.nodes.push(Node {
+                member: member(fronts, number, 1, network.rng.rand_u64()),
+                is_running: false,
+                is_paused: false,
+                incarnation: 1,
                 backlog: Vec::new(),
-                late: Vec::new(),
-                states: vec![None; n],
-                sent: (0, 0),
+                overdue_timers: Vec::new(),
+                views: vec![None; fronts],
+                datagrams_sent: 0,
+                bytes_sent: 0,
             });
         }
-        case.first.of(n).into_iter().for_each(|i| net.start(i));
-        net
-    }
-
-    fn start(&mut self, i: usize) {
-        self.lives += 1000;
-        let (n, life, seed) = (self.nodes.len(), self.lives, self.rng.rand_u64());
-        let node = &mut self.nodes[i];
-        (node.member, node.life, node.up) = (member(n, i, life, seed), life, true);
-        node.states = vec![None; n];
-        self.push(self.now, Event::Seek(i, life));
+        for number in case.first.of(fronts) {
+            network.start(number);
+        }
+        network
     }
 
-    fn push(&mut self, at: u64, event: Event) {
-        self.count += 1;
-        self.queue.push(Reverse(Queued(at, self.count, event)));
+    fn start(&mut self, number: usize) {
+        self.last_incarnation += INCARNATION_STEP;
+        let incarnation = self.last_incarnation;
+        let fronts = self.nodes.len();
+        let seed = self.rng.rand_u64();
+        let node = &mut self.nodes[number];
+        node.member = member(fronts, number, incarnation, seed);
+        node.incarnation = incarnation;
+        node.is_running = true;
+        node.views = vec![None; fronts];
+        let join = Event::Join {
+            node: number,
+            incarnation,
+        };
+        self.queue.schedule(self.now, join);
     }
 
-    fn tell(&mut self, i: usize, what: impl FnOnce(&mut Member, &mut AccumulatingRuntime<Id>)) {
+    /// Has a member do something, and carries out its outputs. What it rejects (datagrams of previous incarnations, or of
+    /// itself) is dropped.
+    fn with_member<T>(
+        &mut self,
+        number: usize,
+        action: impl FnOnce(&mut Member, &mut AccumulatingRuntime<Id>) -> T,
+    ) {
         let mut runtime = AccumulatingRuntime::new();
-        what(&mut self.nodes[i].member, &mut runtime);
-        let life = self.nodes[i].life;
+        action(&mut self.nodes[number].member, &mut runtime);
         while let Some((to, bytes)) = runtime.to_send() {
-            let to = to.number as usize;
-            let sent = &mut self.nodes[i].sent;
-            *sent = (sent.0 + 1, sent.1 + bytes.len() as u64);
-            for at in self
-                .weather
-                .arrivals(self.now, (i, to), bytes.len(), &mut self.rng)
-            {
-                self.push(at, Event::Datagram(to, bytes.to_vec()));
-            }
+            self.send(number, to.number as usize, &bytes);
         }
+        let incarnation = self.nodes[number].incarnation;
         while let Some((after, timer)) = runtime.to_schedule() {
-            self.push(
-                self.now + after.as_nanos() as u64,
-                Event::Timer(i, life, timer),
-            );
-        }
-        while let Some(word) = runtime.to_notify() {
-            let (of, state) = match word {
-                OwnedNotification::MemberUp(id) | OwnedNotification::Rename(_, id) => {
-                    (id, MemberState::Alive)
-                }
-                OwnedNotification::MemberDown(id) => (id, MemberState::Dead),
-                _ => continue,
+            let event = Event::Timer {
+                node: number,
+                incarnation,
+                timer,
             };
-            let known = &mut self.nodes[i].states[of.number as usize];
-            let restarted = known.is_some_and(|(_, life)| life != of.life);
-            *known = Some((state, of.life));
-            self.turns.push(Turn {
-                at: self.now,
-                by: i,
-                of: of.number as usize,
-                state,
-                restarted,
-            });
+            self.queue
+                .schedule(self.now + after.as_nanos() as u64, event);
+        }
+        while let Some(notification) = runtime.to_notify() {
+            self.record_transition(number, notification);
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, bytes: &[u8]) {
+        let node = &mut self.nodes[from];
+        node.datagrams_sent += 1;
+        node.bytes_sent += bytes.len() as u64;
+        let arrivals =
+            self.conditions
+                .arrivals(self.now, Link { from, to }, bytes.len(), &mut self.rng);
+        for at in arrivals {
+            let bytes = bytes.to_vec();
+            self.queue.schedule(at, Event::Datagram { to, bytes });
         }
     }
 
-    fn hear(&mut self, i: usize, bytes: &[u8]) {
-        // What it refuses (old lives, itself as sender) is dropped, as its rim would.
-        self.tell(i, |m, runtime| drop(m.handle_data(bytes, runtime)));
+    fn record_transition(&mut self, by: usize, notification: OwnedNotification<Id>) {
+        let (id, state) = match notification {
+            OwnedNotification::MemberUp(id) | OwnedNotification::Rename(_, id) => {
+                (id, MemberState::Alive)
+            }
+            OwnedNotification::MemberDown(id) => (id, MemberState::Dead),
+            _ => return,
+        };
+        let of = id.number as usize;
+        let view = View {
+            state,
+            incarnation: id.incarnation,
+        };
+        let before = self.nodes[by].views[of].replace(view);
+        self.transitions.push(MemberTransition {
+            at: self.now,
+            by,
+            of,
+            state,
+            restarted: before.is_some_and(|before| before.incarnation != id.incarnation),
+        });
+    }
+
+    fn receive(&mut self, number: usize, bytes: &[u8]) {
+        self.with_member(number, |member, runtime| member.handle_data(bytes, runtime));
     }
 
-    fn timer(&mut self, i: usize, timer: Timer<Id>) {
-        self.tell(i, |m, runtime| drop(m.handle_timer(timer, runtime)));
+    fn expire(&mut self, number: usize, timer: Timer<Id>) {
+        self.with_member(number, |member, runtime| {
+            member.handle_timer(timer, runtime)
+        });
     }
 
-    fn step(&mut self, event: Event) {
+    fn handle_event(&mut self, event: Event) {
         match event {
-            Event::Datagram(to, bytes) => {
-                let node = &mut self.nodes[to];
-                match (node.up, node.stopped) {
-                    (true, false) => self.hear(to, &bytes),
-                    (true, true) if node.backlog.len() < BACKLOG => node.backlog.push(bytes),
-                    _ => {}
-                }
-            }
-            Event::Timer(i, life, timer) => {
-                let node = &mut self.nodes[i];
-                match (node.up && node.life == life, node.stopped) {
-                    (true, false) => self.timer(i, timer),
-                    (true, true) => node.late.push(timer),
-                    _ => {}
-                }
-            }
-            // A fair rim asks the seeds again until somebody answers.
-            Event::Seek(i, life) => {
-                let node = &self.nodes[i];
-                if !node.up || node.life != life || node.member.num_members() > 0 {
-                    return;
-                }
-                for seed in self.seeds.clone().into_iter().filter(|seed| *seed != i) {
-                    let to = Id {
-                        number: seed as u32,
-                        life: 0,
-                    };
-                    self.tell(i, |m, runtime| drop(m.announce(to, runtime)));
-                }
-                self.push(self.now + 2 * SECOND, Event::Seek(i, life));
+            Event::Datagram { to, bytes } => self.handle_datagram(to, bytes),
+            Event::Timer {
+                node,
+                incarnation,
+                timer,
+            } => self.handle_timer(node, incarnation, timer),
+            Event::Join { node, incarnation } => self.join(node, incarnation),
+        }
+    }
+
+    fn handle_datagram(&mut self, to: usize, bytes: Vec<u8>) {
+        let node = &mut self.nodes[to];
+        match (node.is_running, node.is_paused) {
+            (true, false) => self.receive(to, &bytes),
+            (true, true) if node.backlog.len() < SOCKET_BACKLOG => node.backlog.push(bytes),
+            _ => {}
+        }
+    }
+
+    fn handle_timer(&mut self, number: usize, incarnation: u64, timer: Timer<Id>) {
+        let node = &mut self.nodes[number];
+        match (
+            node.is_running && node.incarnation == incarnation,
+            node.is_paused,
+        ) {
+            (true, false) => self.expire(number, timer),
+            (true, true) => node.overdue_timers.push(timer),
+            _ => {}
+        }
+    }
+
+    /// Announces a process to the seeds until one of them answers, as any program that uses the crate would.
+    fn join(&mut self, number: usize, incarnation: u64) {
+        let node = &self.nodes[number];
+        let is_current = node.is_running && node.incarnation == incarnation;
+        if !is_current || node.member.num_members() > 0 {
+            return;
+        }
+        for seed in self.seeds.clone() {
+            if seed == number {
+                continue;
             }
+            let to = Id {
+                number: seed as u32,
+                incarnation: 0,
+            };
+            self.with_member(number, |member, runtime| member.announce(to, runtime));
+        }
+        let again = Event::Join {
+            node: number,
+            incarnation,
+        };
+        self.queue.schedule(self.now + JOIN_INTERVAL, again);
+    }
+}
+
+impl SimulatedProcesses for FocaNetwork {
+    fn count(&self) -> usize {
+        self.nodes.len()
+    }
+
+    fn is_running(&self, front: usize) -> bool {
+        self.nodes[front].is_running
+    }
+
+    fn restart(&mut self, front: usize) {
+        self.start(front);
+    }
+
+    fn kill(&mut self, front: usize) {
+        self.nodes[front].is_running = false;
+    }
+
+    fn leave(&mut self, front: usize) {
+        self.with_member(front, |member, runtime| member.leave_cluster(runtime));
+    }
+
+    fn pause(&mut self, front: usize) {
+        self.nodes[front].is_paused = true;
+    }
+
+    fn resume(&mut self, front: usize) {
+        let node = &mut self.nodes[front];
+        node.is_paused = false;
+        let backlog = std::mem::take(&mut node.backlog);
+        let timers = std::mem::take(&mut node.overdue_timers);
+        for bytes in backlog {
+            self.receive(front, &bytes);
+        }
+        for timer in timers {
+            self.expire(front, timer);
         }
     }
 
-    fn go(&mut self, time: u64) {
+    fn write(&mut self, front: usize) -> Result<(), ActionError> {
+        let what = format!("{} has no board", front_name(front));
+        Err(ActionError::Unsupported(what))
+    }
+
+    fn act_on_hosts(&mut self, _: &Power) -> Result<(), ActionError> {
+        Err(ActionError::Unsupported(
+            "only processes have disks".to_owned(),
+        ))
+    }
+
+    fn advance(&mut self, time: u64) {
         let until = self.now + time;
-        while self.queue.peek().is_some_and(|Reverse(q)| q.0 <= until) {
-            let Some(Reverse(Queued(at, _, event))) = self.queue.pop() else {
-                break;
-            };
+        while let Some((at, event)) = self.queue.pop_until(until) {
             self.now = self.now.max(at);
-            self.step(event);
+            self.handle_event(event);
         }
         self.now = until;
     }
+
+    fn conditions(&mut self) -> &mut NetworkConditions {
+        &mut self.conditions
+    }
 }
 
-impl World for Net {
+impl Cluster for FocaNetwork {
     fn fronts(&self) -> usize {
         self.nodes.len()
     }
@@ -270,111 +364,68 @@
     }
 
     fn run(&mut self, time: u64) {
-        self.go(time);
-    }
-
-    fn act(&mut self, act: &Act) -> Result<(), String> {
-        let n = self.nodes.len();
-        let each = |fronts: &Fronts| fronts.of(n);
-        match act {
-            Act::Start(fronts) => {
-                let down: Vec<usize> = each(fronts)
-                    .into_iter()
-                    .filter(|i| !self.nodes[*i].up)
-                    .collect();
-                down.into_iter().for_each(|i| self.start(i));
-            }
-            Act::Kill(fronts) => each(fronts)
-                .into_iter()
-                .for_each(|i| self.nodes[i].up = false),
-            Act::End(fronts) => {
-                for i in each(fronts) {
-                    self.tell(i, |m, runtime| drop(m.leave_cluster(runtime)));
-                    self.nodes[i].up = false;
-                }
-            }
-            Act::Stop(fronts) => each(fronts)
-                .into_iter()
-                .for_each(|i| self.nodes[i].stopped = true),
-            Act::GoOn(fronts) => {
-                for i in each(fronts) {
-                    let node = &mut self.nodes[i];
-                    node.stopped = false;
-                    let (heard, late) = (
-                        std::mem::take(&mut node.backlog),
-                        std::mem::take(&mut node.late),
-                    );
-                    heard.into_iter().for_each(|bytes| self.hear(i, &bytes));
-                    late.into_iter().for_each(|timer| self.timer(i, timer));
-                }
-            }
-            Act::Restart(fronts, after) => {
-                let again = each(fronts);
-                again.iter().for_each(|i| self.nodes[*i].up = false);
-                self.go(*after);
-                again.into_iter().for_each(|i| self.start(i));
-            }
-            Act::Net { .. } | Act::Cut { .. } | Act::Heal | Act::Flood(..) => {
-                self.weather.act(act, n, USUAL);
-            }
-            Act::Runs(..) => {}
-            Act::Power(_) => return Err("only processes have disks".to_owned()),
-            Act::Write(i) => return Err(format!("{} has no board", name(*i))),
-        }
-        Ok(())
+        self.advance(time);
+    }
+
+    fn act(&mut self, act: &Act) -> Result<(), ActionError> {
+        carry_out(self, act)
     }
 
     fn state(&self, at: usize, of: usize) -> Option<MemberState> {
-        self.nodes[at].states[of].map(|(state, _)| state)
+        self.nodes[at].views[of].map(|view| view.state)
     }
 
-    fn standing(&self, _: usize) -> Option<LocalHealth> {
+    fn local_health(&self, _: usize) -> Option<LocalHealth> {
         None
     }
 
-    fn turns(&self, from: u64) -> Vec<Turn> {
-        let since = self.turns.partition_point(|t| t.at < from);
-        self.turns[since..].to_vec()
+    fn transitions(&self, from: u64) -> Vec<MemberTransition> {
+        let first = self
+            .transitions
+            .partition_point(|transition| transition.at < from);
+        self.transitions[first..].to_vec()
     }
 
-    fn entry(&self, _: usize) -> Option<(u64, u64)> {
+    fn entry(&self, _: usize) -> Option<Entry> {
         None
     }
 
     fn sent(&self) -> Rate {
-        let time = (self.now - 100 * SECOND).max(1) as f64 / SECOND as f64;
-        let most = |most: Rate, sent: (u64, u64)| {
-            (
-                most.0.max(sent.0 as f64 / time),
-                most.1.max(sent.1 as f64 / time),
-            )
-        };
-        self.nodes.iter().map(|n| n.sent).fold((0.0, 0.0), most)
+        let seconds = (self.now - START_OF_TIME).max(1) as f64 / SECOND as f64;
+        let mut most: Rate = (0.0, 0.0);
+        for node in &self.nodes {
+            most.0 = most.0.max(node.datagrams_sent as f64 / seconds);
+            most.1 = most.1.max(node.bytes_sent as f64 / seconds);
+        }
+        most
     }
 }
 
 fn main() {
     let args: Vec<String> = std::env::args().skip(1).collect();
     let wanted = args.first().map_or("deaths", String::as_str);
-    let number =
-        |i: usize, default: u64| args.get(i).and_then(|a| a.parse().ok()).unwrap_or(default);
+    let number = |index: usize, default: u64| {
+        args.get(index)
+            .and_then(|arg| arg.parse().ok())
+            .unwrap_or(default)
+    };
     let (fronts, seed) = (number(1, 40) as usize, number(2, 1));
     let Some((_, text)) = CASES.iter().find(|(known, _)| *known == wanted) else {
         return eprintln!("{wanted}: no such case");
     };
     let case = parse(text).expect("a built-in case");
-    match play(&case, &mut Net::of(&case, fronts, seed)) {
-        Err(what) => eprintln!("{wanted}: {what}"),
-        Ok(played) => {
-            for c in &played.claims {
+    match play(&case, &mut FocaNetwork::for_case(&case, fronts, seed)) {
+        Err(error) => eprintln!("{wanted}: {error}"),
+        Ok(result) => {
+            for claim in &result.claims {
                 println!(
                     "{}: {}: {}",
-                    if c.kept { "kept" } else { "BROKEN" },
-                    c.what,
-                    c.measured
+                    if claim.holds { "kept" } else { "BROKEN" },
+                    claim.what,
+                    claim.measured
                 );
             }
-            let ((kept, all), sent) = (played.kept(), played.sent);
+            let ((kept, all), sent) = (result.satisfied_claims(), result.sent);
             println!("foca {wanted}: fronts {fronts}, claims kept {kept}/{all}, {:.1} datagrams, {:.0} bytes a second", sent.0, sent.1);
         }
     }
--- a/crates/fault-simulation/src/cluster.rs
+++ b/crates/fault-simulation/src/cluster.rs
@@ -1,81 +1,88 @@
-//! What a case is played on: fleets in one process, or of processes.
+//! The interface of what a scenario runs on: a fleet in one process, or one of processes.
+use crate::error::ActionError;
 use crate::scenario::Act;
 use crankpaddle_membership::{LocalHealth, MemberState};
 
-/// A front came to take another for something else.
+/// A front's view of another changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Turn {
-    /// When, nanoseconds of the world's clock.
+pub struct MemberTransition {
+    /// When, nanoseconds of the cluster's clock.
     pub at: u64,
-    /// Which front's view it is.
+    /// The front whose view it is.
     pub by: usize,
-    /// Of which front.
+    /// The front that is viewed.
     pub of: usize,
-    /// What for.
+    /// The state that it is seen in now.
     pub state: MemberState,
-    /// Whether it is another life of it than before.
+    /// Whether it is another incarnation than before.
     pub restarted: bool,
 }
 
-/// What was sent in a second by the front that sent most: datagrams, bytes.
+/// Datagrams and bytes a second, sent by the front that sent most.
 pub type Rate = (f64, f64);
 
-/// A fleet and the net between its fronts.
-pub trait World {
+/// Sessions that were lost with the power.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RecoveryProgress {
+    /// Players that watch again.
+    pub restored: u64,
+    /// Players that left without a session.
+    pub left: u64,
+    /// Players that lost a session.
+    pub lost: u64,
+}
+
+/// The age of an entry, nanoseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// As the reading front computes it.
+    pub reported_age: u64,
+    /// By the cluster's clock.
+    pub actual_age: u64,
+}
+
+/// A fleet of fronts and the network between them.
+pub trait Cluster {
     /// How many fronts there are, whether they run or not.
     fn fronts(&self) -> usize;
     /// The clock, nanoseconds.
     fn now(&self) -> u64;
     /// Lets time pass.
     fn run(&mut self, time: u64);
-    /// Does something.
+    /// Carries out an action.
     ///
     /// # Errors
-    /// It can't be done here.
-    fn act(&mut self, act: &Act) -> Result<(), String>;
-    /// What one takes another for; `None`: it does not know it, or was not asked yet.
+    /// This cluster can't carry it out.
+    fn act(&mut self, act: &Act) -> Result<(), ActionError>;
+    /// The state that front `at` sees front `of` in; `None`: it does not know it, or was not asked yet.
     fn state(&self, at: usize, of: usize) -> Option<MemberState>;
-    /// How one stands with the others.
-    fn standing(&self, at: usize) -> Option<LocalHealth>;
-    /// What changed from a time on, in order.
-    fn turns(&self, from: u64) -> Vec<Turn>;
-    /// How old one takes an entry for that another wrote last, if it holds it; and how old it is.
-    fn entry(&self, at: usize) -> Option<(u64, u64)>;
-    /// What one front sent at most.
+    /// A front's own health.
+    fn local_health(&self, at: usize) -> Option<LocalHealth>;
+    /// The transitions from a time on, in order.
+    fn transitions(&self, from: u64) -> Vec<MemberTransition>;
+    /// The entry that was written last, as one front knows it; `None`: it does not.
+    fn entry(&self, at: usize) -> Option<Entry>;
+    /// The highest rate of one front, over the whole run.
     fn sent(&self) -> Rate;
-    /// Of those who lost what they watched when the power went (in paid classes, or in all): how many watch again, how many left
-    /// without, and how many there are. `None`: there are none here.
-    fn lost(&self, _paid: bool) -> Option<(u64, u64, u64)> {
+    /// Sessions lost when the power failed (of paid classes, or of all). `None`: there are no sessions here.
+    fn recovery_progress(&self, _paid: bool) -> Option<RecoveryProgress> {
         None
     }
-    /// How long servers whose power went need to take so many sessions, if nothing but their warming bounds it.
-    fn warming(&self, _sessions: f64) -> Option<u64> {
+    /// The time that servers whose power failed need to take so many sessions, if only their slow start limits it.
+    fn warm_up_time(&self, _sessions: f64) -> Option<u64> {
         None
     }
 }
 
-/// Whether each of `at` takes each of `of` (but itself) for this.
-pub fn all<W: World + ?Sized>(world: &W, at: &[usize], of: &[usize], state: MemberState) -> bool {
-    at.iter().all(|a| {
+/// Whether each of `at` sees each of `of` (but itself) in this state.
+pub fn all_see<C: Cluster + ?Sized>(
+    cluster: &C,
+    at: &[usize],
+    of: &[usize],
+    state: MemberState,
+) -> bool {
+    at.iter().all(|viewer| {
         of.iter()
-            .all(|o| a == o || world.state(*a, *o) == Some(state))
+            .all(|viewed| viewer == viewed || cluster.state(*viewer, *viewed) == Some(state))
     })
 }
-
-/// Cuts of a net, as they are made and undone.
-#[derive(Clone, Debug, Default)]
-pub struct Cuts(Vec<(Vec<bool>, Vec<bool>)>);
-
-impl Cuts {
-    /// Nothing passes from these to those any more.
-    pub fn cut(&mut self, from: &[usize], to: &[usize], fleet: usize) {
-        let set = |of: &[usize]| (0..fleet).map(|i| of.contains(&i)).collect();
-        self.0.push((set(from), set(to)));
-    }
-
-    /// Whether a datagram gets through.
-    pub fn lets(&self, from: usize, to: usize) -> bool {
-        let has = |set: &[bool], i: usize| set.get(i).copied().unwrap_or(false);
-        !self.0.iter().any(|(a, b)| has(a, from) && has(b, to))
-    }
-}
--- a/crates/fault-simulation/src/lib.rs
+++ b/crates/fault-simulation/src/lib.rs
@@ -1,16 +1,32 @@
-//! Cases of a fleet: scripts of what is done to its fronts and to the net between them, with claims that are judged; and fleets
-//! in one process on a given clock to play them on. The same pure packages run here as behind sockets; seed and size decide all.
-#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
+//! Fault simulation for a fleet of fronts: scenarios (scripted cases with claims that are checked), a network with faults, and
+//! fleets in one process on a virtual clock to run them on. The membership state machine is the same that runs behind sockets;
+//! the seed and the size of the fleet decide everything.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 mod cluster;
+mod error;
+mod event_queue;
 mod network_conditions;
 mod runner;
 mod scenario;
 mod simulated_network;
+mod simulated_process;
 
-pub use cluster::{all, Cuts, Rate, Turn, World};
-pub use network_conditions::{Lets, Weather};
-pub use runner::{play, Judged, Played};
-pub use scenario::{parse, Act, Bound, Case, Claim, Fronts, Power, Spoil, Step, CASES};
-pub use simulated_network::{name, number, settings, Net, Node, MS, SECOND};
+pub use cluster::{all_see, Cluster, Entry, MemberTransition, Rate, RecoveryProgress};
+pub use error::{ActionError, FrontsError};
+pub use event_queue::EventQueue;
+pub use network_conditions::{Link, LinkFilter, NetworkConditions};
+pub use runner::{play, CaseResult, ClaimResult};
+pub use scenario::{parse, Act, Bound, Case, Claim, DelayRange, Fronts, Power, Spoil, Step, CASES};
+pub use simulated_network::{
+    front_name, front_number, member_config, ChangeRecord, HealthRecord, SentDatagram,
+    SimulatedNetwork, SimulatedNode,
+};
+pub use simulated_process::{
+    carry_out, SimulatedProcesses, SOCKET_BACKLOG, START_OF_TIME, USUAL_DELAY,
+};
+
+/// Nanoseconds of a millisecond.
+pub const MS: u64 = 1_000_000;
+/// Nanoseconds of a second.
+pub const SECOND: u64 = 1000 * MS;
--- a/crates/fault-simulation/src/network_conditions.rs
+++ b/crates/fault-simulation/src/network_conditions.rs
@@ -1,174 +1,161 @@
-//! What a net does to datagrams: which are lost, doubled, late, cut off. The same for a net in memory and for one of sockets.
-use crate::cluster::Cuts;
-use crate::scenario::Act;
+//! What a network does to datagrams: which are lost, duplicated, delayed or cut off. The same for a network in memory and for one
+//! of sockets.
+#[cfg(test)]
+mod tests;
+
+use crate::scenario::{Act, DelayRange, Fronts};
+use crate::SECOND;
 use std::collections::HashMap;
 
-/// What waits longer than this for a way with a bandwidth is lost.
-const QUEUE: u64 = 1_000_000_000;
+/// A datagram that would wait longer than this for a link with a bandwidth is dropped.
+const MAX_QUEUEING: u64 = SECOND;
 
-/// Whether a datagram from one to another gets through now.
-pub type Lets = Box<dyn Fn(usize, usize) -> bool + Send>;
+/// Whether a datagram from one front to another passes now.
+pub type LinkFilter = Box<dyn Fn(usize, usize) -> bool + Send>;
 
-/// The state of a net. Times are nanoseconds.
-pub struct Weather {
+/// One direction between two fronts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Link {
+    /// The sending front.
+    pub from: usize,
+    /// The receiving front.
+    pub to: usize,
+}
+
+/// The conditions of a network. Times are nanoseconds.
+pub struct NetworkConditions {
     /// Part of the datagrams that is lost.
     pub loss: f64,
     /// Part that arrives twice.
-    pub doubled: f64,
-    /// Least and most time on the way.
-    pub delay: (u64, u64),
-    /// Bytes a second from one to another; infinite: no bound.
+    pub duplicated: f64,
+    /// Transit time.
+    pub delay: DelayRange,
+    /// Bytes a second from one front to another; infinite: no limit.
     pub bandwidth: f64,
-    /// Whether a datagram from one to another gets through now.
-    pub lets: Lets,
-    /// Members whose datagrams arrive so many times.
+    /// Whether a datagram from one front to another passes now.
+    pub link_filter: LinkFilter,
+    /// Fronts whose datagrams arrive so many times.
     pub floods: HashMap<usize, u32>,
-    cuts: Cuts,
-    taken: HashMap<(usize, usize), u64>, // Until when a way with a bandwidth is taken.
+    cuts: Vec<Cut>,
+    busy_until: HashMap<Link, u64>, // Of links with a bandwidth.
+}
+
+/// Nothing passes from these fronts to those.
+#[derive(Clone)]
+struct Cut {
+    from: Vec<bool>, // By the number of the front.
+    to: Vec<bool>,
+}
+
+impl Cut {
+    fn new(from: &Fronts, to: &Fronts, fleet: usize) -> Cut {
+        let members = |fronts: &Fronts| (0..fleet).map(|i| fronts.has(i, fleet)).collect();
+        Cut {
+            from: members(from),
+            to: members(to),
+        }
+    }
+
+    fn blocks(&self, from: usize, to: usize) -> bool {
+        let has = |members: &[bool], front: usize| members.get(front).copied().unwrap_or(false);
+        has(&self.from, from) && has(&self.to, to)
+    }
 }
 
-impl Weather {
-    /// A good net with this delay.
-    pub fn fair(delay: (u64, u64)) -> Weather {
-        Weather {
+impl NetworkConditions {
+    /// A network without faults.
+    #[must_use]
+    pub fn good(delay: DelayRange) -> NetworkConditions {
+        NetworkConditions {
             loss: 0.0,
-            doubled: 0.0,
+            duplicated: 0.0,
             delay,
             bandwidth: f64::INFINITY,
-            lets: Box::new(|_, _| true),
+            link_filter: Box::new(|_, _| true),
             floods: HashMap::new(),
-            cuts: Cuts::default(),
-            taken: HashMap::new(),
+            cuts: Vec::new(),
+            busy_until: HashMap::new(),
         }
     }
 
-    /// Does what a case does to the net between so many fronts; false where it does something else. `usual`: least and most
-    /// time on the way where the case states none.
-    pub fn act(&mut self, act: &Act, fleet: usize, usual: (u64, u64)) -> bool {
+    /// Carries out an action on the network between so many fronts; other actions are ignored. `usual`: the transit time where
+    /// the scenario states none.
+    pub fn act(&mut self, act: &Act, fleet: usize, usual: DelayRange) {
         match act {
             Act::Net {
                 loss,
-                doubled,
+                duplicated,
                 delay,
                 bandwidth,
             } => {
-                (self.loss, self.doubled, self.bandwidth) = (*loss, *doubled, *bandwidth);
+                self.loss = *loss;
+                self.duplicated = *duplicated;
+                self.bandwidth = *bandwidth;
                 self.delay = delay.unwrap_or(usual);
             }
             Act::Cut { from, to, both } => {
-                let (from, to) = (from.of(fleet), to.of(fleet));
-                self.cuts.cut(&from, &to, fleet);
+                self.cuts.push(Cut::new(from, to, fleet));
                 if *both {
-                    self.cuts.cut(&to, &from, fleet);
+                    self.cuts.push(Cut::new(to, from, fleet));
                 }
                 let cuts = self.cuts.clone();
-                self.lets = Box::new(move |a, b| cuts.lets(a, b));
+                self.link_filter =
+                    Box::new(move |from, to| !cuts.iter().any(|cut| cut.blocks(from, to)));
             }
             Act::Heal => {
-                self.cuts = Cuts::default();
-                self.lets = Box::new(|_, _| true);
+                self.cuts.clear();
+                self.link_filter = Box::new(|_, _| true);
             }
             Act::Flood(fronts, times) => {
-                self.floods
-                    .extend(fronts.of(fleet).into_iter().map(|i| (i, *times)));
+                for front in fronts.of(fleet) {
+                    self.floods.insert(front, *times);
+                }
             }
-            _ => return false,
+            _ => {}
         }
-        true
     }
 
     /// When the copies of a datagram arrive; none where it is lost.
     pub fn arrivals(
         &mut self,
         now: u64,
-        way: (usize, usize),
+        link: Link,
         bytes: usize,
         rng: &mut oorandom::Rand64,
     ) -> Vec<u64> {
         let mut arrivals = Vec::new();
-        if !(self.lets)(way.0, way.1) {
+        if !(self.link_filter)(link.from, link.to) {
             return arrivals;
         }
-        for _ in 0..self.floods.get(&way.0).copied().unwrap_or(1) {
+        let times = self.floods.get(&link.from).copied().unwrap_or(1);
+        for _ in 0..times {
             if rng.rand_float() < self.loss {
                 continue;
             }
-            let Some(leaves) = self.leaves(now, way, bytes) else {
+            let Some(departure) = self.departure(now, link, bytes) else {
                 continue;
             };
-            let copies = 1 + usize::from(self.doubled > 0.0 && rng.rand_float() < self.doubled);
+            let is_duplicated = self.duplicated > 0.0 && rng.rand_float() < self.duplicated;
+            let copies = if is_duplicated { 2 } else { 1 };
             for _ in 0..copies {
-                let late = (rng.rand_float() * (self.delay.1 - self.delay.0) as f64) as u64;
-                arrivals.push(leaves + self.delay.0 + late);
+                arrivals.push(departure + self.delay.draw(rng));
             }
         }
         arrivals
     }
 
-    fn leaves(&mut self, now: u64, way: (usize, usize), bytes: usize) -> Option<u64> {
+    /// When a datagram has passed the link's bandwidth; `None` if its queue is full.
+    fn departure(&mut self, now: u64, link: Link, bytes: usize) -> Option<u64> {
         if self.bandwidth.is_infinite() {
             return Some(now);
         }
-        let taken = self.taken.entry(way).or_insert(now);
-        let begins = (*taken).max(now);
-        if begins - now > QUEUE {
+        let busy_until = self.busy_until.entry(link).or_insert(now);
+        let begins = (*busy_until).max(now);
+        if begins - now > MAX_QUEUEING {
             return None;
         }
-        *taken = begins + (bytes as f64 / self.bandwidth * 1e9) as u64;
-        Some(*taken)
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_narrow_way_makes_wait_and_then_loses_and_another_is_free() {
-        let mut rng = oorandom::Rand64::new(1);
-        let mut net = Weather {
-            bandwidth: 1000.0,
-            ..Weather::fair((0, 0))
-        };
-        let arrive: Vec<Vec<u64>> = (0..4)
-            .map(|_| net.arrivals(0, (0, 1), 500, &mut rng))
-            .collect();
-        assert_eq!(
-            arrive,
-            [
-                vec![500_000_000],
-                vec![1_000_000_000],
-                vec![1_500_000_000],
-                vec![]
-            ]
-        );
-        assert_eq!(net.arrivals(0, (1, 0), 500, &mut rng), [500_000_000]);
-    }
-
-    #[test]
-    fn parts_are_lost_and_doubled_and_a_flood_comes_many_times() {
-        let mut rng = oorandom::Rand64::new(1);
-        let mut net = Weather {
-            loss: 0.3,
-            doubled: 0.5,
-            ..Weather::fair((1, 9))
-        };
-        let all: Vec<u64> = (0..10_000)
-            .flat_map(|_| net.arrivals(0, (0, 1), 1, &mut rng))
-            .collect();
-        assert!(
-            (all.len() as f64 / 10_500.0 - 1.0).abs() < 0.05,
-            "{}",
-            all.len()
-        );
-        assert!(all.iter().all(|at| (1..=9).contains(at)));
-        let mut net = Weather {
-            floods: [(3, 50)].into(),
-            ..Weather::fair((1, 9))
-        };
-        assert_eq!(net.arrivals(0, (3, 1), 1, &mut rng).len(), 50);
-        assert_eq!(net.arrivals(0, (1, 3), 1, &mut rng).len(), 1);
-        net.lets = Box::new(|a, _| a != 3);
-        assert!(net.arrivals(0, (3, 1), 1, &mut rng).is_empty());
+        let transmission = (bytes as f64 / self.bandwidth * SECOND as f64) as u64;
+        *busy_until = begins + transmission;
+        Some(*busy_until)
     }
 }
--- /dev/null
+++ b/crates/fault-simulation/src/runner/checks.rs
@@ -0,0 +1,199 @@
+//! The check of each kind of claim.
+use super::ClaimResult;
+use crate::cluster::{all_see, Cluster, MemberTransition};
+use crate::scenario::{Bound, Claim, Fronts};
+use crate::{MS, SECOND};
+use crankpaddle_membership::{LocalHealth, MemberState};
+use std::collections::BTreeSet;
+
+/// Time between two looks at whether a claim holds.
+const POLL_INTERVAL: u64 = 50 * MS;
+/// A claim is awaited for this multiple of its bound, so that the time is known by which it is missed.
+const PATIENCE: u64 = 2;
+
+/// Checks a claim; time passes until it holds. `mark`: the time from which accusations and restarts count.
+pub(super) fn check<C: Cluster + ?Sized>(
+    name: &str,
+    claim: &Claim,
+    mark: u64,
+    cluster: &mut C,
+) -> ClaimResult {
+    let mut check = Check {
+        name,
+        mark,
+        fleet: cluster.fronts(),
+        cluster,
+    };
+    match claim {
+        Claim::See {
+            at,
+            of,
+            state,
+            bound,
+        } => check.see(at, of, *state, *bound),
+        Claim::Accused {
+            by,
+            but,
+            most,
+            per_front,
+        } => check.accused(by, but, *most, *per_front),
+        Claim::LocalHealth { at, health, bound } => check.local_health(at, *health, *bound),
+        Claim::Restarted { at, of, bound } => check.restarted(at, of, *bound),
+        Claim::Recovered { paid, part, bound } => check.recovered(*paid, *part, *bound),
+        Claim::EntryKnown {
+            part,
+            bound,
+            max_age_error,
+        } => check.entry_known(*part, *bound, *max_age_error),
+    }
+}
+
+struct Check<'a, C: ?Sized> {
+    name: &'a str,
+    mark: u64,
+    fleet: usize,
+    cluster: &'a mut C,
+}
+
+impl<C: Cluster + ?Sized> Check<'_, C> {
+    fn see(&mut self, at: &Fronts, of: &Fronts, state: MemberState, bound: Bound) -> ClaimResult {
+        let (at, of) = (at.of(self.fleet), of.of(self.fleet));
+        let from = self.cluster.now();
+        let took = self.wait_until(bound, |cluster| all_see(cluster, &at, &of, state));
+        let counts = |transition: &MemberTransition| {
+            transition.state == state && at.contains(&transition.by) && of.contains(&transition.of)
+        };
+        let median = if state == MemberState::Alive {
+            String::new()
+        } else {
+            median_time(&self.cluster.transitions(from), from, counts)
+        };
+        self.timed_result(bound, took, &median)
+    }
+
+    fn accused(&self, by: &Fronts, but: &Fronts, most: u32, per_front: f64) -> ClaimResult {
+        let is_false_accusation = |transition: &&MemberTransition| {
+            transition.state == MemberState::Dead
+                && by.has(transition.by, self.fleet)
+                && !but.has(transition.of, self.fleet)
+        };
+        let transitions = self.cluster.transitions(self.mark);
+        let count = transitions.iter().filter(is_false_accusation).count();
+        let allowed = f64::from(most) + per_front * self.fleet as f64;
+        ClaimResult {
+            what: self.name.to_owned(),
+            measured: format!("{count} accusations"),
+            holds: count as f64 <= allowed,
+        }
+    }
+
+    fn local_health(&mut self, at: &Fronts, health: LocalHealth, bound: Bound) -> ClaimResult {
+        let at = at.of(self.fleet);
+        let took = self.wait_until(bound, |cluster| {
+            at.iter()
+                .all(|front| cluster.local_health(*front) == Some(health))
+        });
+        self.timed_result(bound, took, "")
+    }
+
+    fn restarted(&mut self, at: &Fronts, of: &Fronts, bound: Bound) -> ClaimResult {
+        let (at, of) = (at.of(self.fleet), of.of(self.fleet));
+        let mark = self.mark;
+        let took = self.wait_until(bound, |cluster| {
+            let seen: BTreeSet<(usize, usize)> = cluster
+                .transitions(mark)
+                .iter()
+                .filter(|transition| transition.restarted)
+                .map(|transition| (transition.by, transition.of))
+                .collect();
+            at.iter()
+                .all(|by| of.iter().all(|of| seen.contains(&(*by, *of))))
+        });
+        self.timed_result(bound, took, "")
+    }
+
+    fn recovered(&mut self, paid: bool, part: f64, bound: Bound) -> ClaimResult {
+        let reached = self.wait_until(bound, |cluster| {
+            let progress = cluster.recovery_progress(paid).unwrap_or_default();
+            let settled = progress.restored + progress.left;
+            progress.lost > 0 && settled as f64 >= progress.lost as f64 * part
+        });
+        // The time counts from the mark, not from the claim.
+        let took = reached.map(|_| self.cluster.now().saturating_sub(self.mark));
+        let progress = self.cluster.recovery_progress(paid).unwrap_or_default();
+        let warm_up = self
+            .cluster
+            .warm_up_time(progress.restored as f64)
+            .map(seconds)
+            .unwrap_or_default();
+        let detail = format!(
+            " ({} lost theirs, {} watch again, {} left without; servers' warming alone allows it at {warm_up})",
+            progress.lost, progress.restored, progress.left
+        );
+        self.timed_result(bound, took, &detail)
+    }
+
+    fn entry_known(&mut self, part: f64, bound: Bound, max_age_error: u64) -> ClaimResult {
+        let fleet = self.fleet;
+        // The first front is the one that writes.
+        let took = self.wait_until(bound, |cluster| {
+            let knowing = (1..fleet)
+                .filter(|front| cluster.entry(*front).is_some())
+                .count();
+            knowing as f64 >= part * (fleet - 1) as f64
+        });
+        let age_error = (1..fleet)
+            .filter_map(|front| self.cluster.entry(front))
+            .map(|entry| entry.reported_age.abs_diff(entry.actual_age))
+            .max()
+            .unwrap_or(u64::MAX);
+        let detail = format!(", ages off by {} ms at most", age_error / MS);
+        let mut result = self.timed_result(bound, took, &detail);
+        result.holds &= age_error <= max_age_error;
+        result
+    }
+
+    /// Lets time pass until something holds; how long it took.
+    fn wait_until(&mut self, bound: Bound, holds: impl Fn(&C) -> bool) -> Option<u64> {
+        let longest = PATIENCE * bound.of(self.fleet);
+        let started = self.cluster.now();
+        while self.cluster.now() - started <= longest {
+            if holds(self.cluster) {
+                return Some(self.cluster.now() - started);
+            }
+            self.cluster.run(POLL_INTERVAL);
+        }
+        None
+    }
+
+    fn timed_result(&self, bound: Bound, took: Option<u64>, detail: &str) -> ClaimResult {
+        let bound = bound.of(self.fleet);
+        let time = took.map_or("not at all".to_owned(), seconds);
+        ClaimResult {
+            what: format!("{} within {}", self.name, seconds(bound)),
+            measured: time + detail,
+            holds: took.is_some_and(|took| took <= bound),
+        }
+    }
+}
+
+fn seconds(time: u64) -> String {
+    format!("{:.1} s", time as f64 / SECOND as f64)
+}
+
+/// When half of the transitions that count had happened, from a time on.
+fn median_time(
+    transitions: &[MemberTransition],
+    from: u64,
+    counts: impl Fn(&MemberTransition) -> bool,
+) -> String {
+    let mut times: Vec<u64> = transitions
+        .iter()
+        .filter(|transition| counts(transition))
+        .map(|transition| transition.at.saturating_sub(from))
+        .collect();
+    times.sort_unstable();
+    times.get(times.len() / 2).map_or(String::new(), |median| {
+        format!(", half of it at {}", seconds(*median))
+    })
+}
--- /dev/null
+++ b/crates/fault-simulation/src/scenario/tests.rs
@@ -0,0 +1,81 @@
+use super::{parse, Act, Fronts, Step, CASES};
+use std::collections::HashMap;
+
+#[test]
+fn fronts_are_selected_by_number_range_step_part_group_and_exclusion() {
+    let dead = Fronts::parse("0/4,9", &HashMap::new()).unwrap();
+    let groups: HashMap<String, Fronts> = [("dead".to_owned(), dead)].into();
+    for (text, of) in [
+        ("all", vec![0, 1, 2, 3, 4, 5, 6, 7, 8, 9]),
+        ("none", vec![]),
+        ("3", vec![3]),
+        ("7-12", vec![7, 8, 9]),
+        ("1/3", vec![1, 4, 7]),
+        ("0%-25%", vec![0, 1, 2]),
+        ("25%-50%", vec![3, 4]),
+        ("dead", vec![0, 4, 8, 9]),
+        ("!dead,1", vec![2, 3, 5, 6, 7]),
+    ] {
+        assert_eq!(Fronts::parse(text, &groups).unwrap().of(10), of, "{text}");
+    }
+    for bad in ["", "x", "3/0", "5%-200%", "-", "!!3"] {
+        assert!(
+            Fronts::parse(bad, &groups)
+                .unwrap_err()
+                .to_string()
+                .contains("allowed: all"),
+            "{bad}"
+        );
+    }
+}
+
+#[test]
+fn the_built_in_cases_are_valid() {
+    for (name, text) in CASES {
+        let case = parse(text).unwrap_or_else(|p| panic!("{name}: {p:?}"));
+        assert_eq!(case.name, name);
+        assert!(
+            case.steps.iter().any(|s| matches!(s, Step::Claim { .. })),
+            "{name} claims nothing"
+        );
+    }
+}
+
+#[test]
+fn a_bandwidth_is_read_in_bytes_a_second_whatever_its_unit() {
+    for (text, expected) in [("500B/s", 500.0), ("4kB/s", 4000.0)] {
+        let case = parse(&format!(
+            "name: \"x\" step {{ net {{ bandwidth: {text:?} }} }}"
+        ))
+        .unwrap();
+        let Step::Act(Act::Net { bandwidth, .. }) = case.steps[0] else {
+            panic!("{:?}", case.steps)
+        };
+        assert!((bandwidth - expected).abs() < 1e-6, "{text}: {bandwidth}");
+    }
+}
+
+#[test]
+fn each_problem_is_reported_with_its_place() {
+    let (_, good) = CASES[1];
+    for (from, to, expected) in [
+        ("kill: \"dead\"", "kill: \"deaf\"", "names no fronts"),
+        ("state: GONE", "", "has no state"),
+        (
+            "within: \"8s\"",
+            "within: \"8 parsecs\"",
+            "step[3].see.bound.within",
+        ),
+        ("kill: \"dead\"", "kil: \"dead\"", "kil"),
+        ("claim: \"each death is known to all\"", "", "has no claim"),
+    ] {
+        assert!(good.contains(from), "{from}");
+        let problems = parse(&good.replacen(from, to, 1)).unwrap_err();
+        assert!(
+            problems
+                .iter()
+                .any(|p| p.what.contains(expected) && p.line > 1),
+            "{from}: {problems:?}"
+        );
+    }
+}
--- a/crates/fault-simulation/tests/claims.rs
+++ b/crates/fault-simulation/tests/claims.rs
@@ -1,19 +1,21 @@
-//! The judge of claims is judged: for each kind a world in which it holds, and the nearest one in which it does not.
-use crankpaddle_fault_simulation::*;
+//! The checks of claims are tested: for each kind a cluster in which it holds, and the nearest one in which it does not.
+use crankpaddle_fault_simulation::{
+    parse, play, Act, ActionError, Cluster, Entry, MemberTransition, Rate, MS,
+};
 use crankpaddle_membership::{LocalHealth, MemberState};
 
-/// A world that is told what happens: who takes whom for what from when on, and all else as it is.
+/// A cluster whose history is given: who sees whom in which state from when on, and everything else likewise.
 #[derive(Default)]
-struct Told {
+struct ScriptedCluster {
     now: u64,
     fronts: usize,
-    turns: Vec<Turn>,
-    standings: Vec<(u64, usize, LocalHealth)>,
-    entries: Vec<(u64, usize, u64)>, // From when, whose, how wrong its age is.
+    transitions: Vec<MemberTransition>,
+    health_changes: Vec<HealthChange>,
+    entries: Vec<KnownEntry>,
     acts: Vec<Act>,
 }
 
-impl World for Told {
+impl Cluster for ScriptedCluster {
     fn fronts(&self) -> usize {
         self.fronts
     }
@@ -26,41 +28,44 @@
         self.now += time;
     }
 
-    fn act(&mut self, act: &Act) -> Result<(), String> {
+    fn act(&mut self, act: &Act) -> Result<(), ActionError> {
         self.acts.push(act.clone());
         Ok(())
     }
 
     fn state(&self, at: usize, of: usize) -> Option<MemberState> {
-        let known = |t: &&Turn| t.at <= self.now && (t.by, t.of) == (at, of);
-        self.turns
+        let known = |t: &&MemberTransition| t.at <= self.now && (t.by, t.of) == (at, of);
+        self.transitions
             .iter()
             .rfind(known)
             .map_or(Some(MemberState::Alive), |t| Some(t.state))
     }
 
-    fn standing(&self, at: usize) -> Option<LocalHealth> {
-        let known = |(when, who, _): &&(u64, usize, LocalHealth)| *when <= self.now && *who == at;
-        self.standings
+    fn local_health(&self, at: usize) -> Option<LocalHealth> {
+        let known = |change: &&HealthChange| change.at <= self.now && change.front == at;
+        self.health_changes
             .iter()
             .rfind(known)
-            .map(|(.., standing)| *standing)
+            .map(|change| change.health)
     }
 
-    fn turns(&self, from: u64) -> Vec<Turn> {
-        self.turns
+    fn transitions(&self, from: u64) -> Vec<MemberTransition> {
+        self.transitions
             .iter()
             .filter(|t| (from..=self.now).contains(&t.at))
             .cloned()
             .collect()
     }
 
-    fn entry(&self, at: usize) -> Option<(u64, u64)> {
+    fn entry(&self, at: usize) -> Option<Entry> {
         let entry = self
             .entries
             .iter()
-            .find(|(when, who, _)| *when <= self.now && *who == at)?;
-        Some((self.now, self.now + entry.2))
+            .find(|entry| entry.at <= self.now && entry.front == at)?;
+        Some(Entry {
+            reported_age: self.now,
+            actual_age: self.now + entry.age_error,
+        })
     }
 
     fn sent(&self) -> Rate {
@@ -68,8 +73,33 @@
     }
 }
 
-fn turn(at: u64, by: usize, of: usize, state: MemberState) -> Turn {
-    Turn {
+struct HealthChange {
+    at: u64,
+    front: usize,
+    health: LocalHealth,
+}
+
+/// An entry that a front knows from a time on, with the error of its age.
+struct KnownEntry {
+    at: u64,
+    front: usize,
+    age_error: u64,
+}
+
+fn health_change(at: u64, front: usize, health: LocalHealth) -> HealthChange {
+    HealthChange { at, front, health }
+}
+
+fn known_entry(at: u64, front: usize, age_error: u64) -> KnownEntry {
+    KnownEntry {
+        at,
+        front,
+        age_error,
+    }
+}
+
+fn transition(at: u64, by: usize, of: usize, state: MemberState) -> MemberTransition {
+    MemberTransition {
         at: at * MS,
         by,
         of,
@@ -78,141 +108,165 @@
     }
 }
 
-fn kept(step: &str, mut world: Told) -> bool {
-    world.fronts = 4;
+fn holds(step: &str, mut cluster: ScriptedCluster) -> bool {
+    cluster.fronts = 4;
     let text = format!("name: \"x\" step {{ mark {{}} }} step {{ run: \"1s\" }} step {{ {step} }}");
     let case = parse(&text).unwrap_or_else(|p| panic!("{step}: {p:?}"));
-    let played = play(&case, &mut world).unwrap();
-    let (kept, all) = played.kept();
-    assert_eq!((all, kept == 1), (1, played.claims[0].kept));
-    played.claims[0].kept
+    let result = play(&case, &mut cluster).unwrap();
+    let (held, all) = result.satisfied_claims();
+    assert_eq!((all, held == 1), (1, result.claims[0].holds));
+    result.claims[0].holds
 }
 
 #[test]
-fn what_each_sees_holds_in_time_or_is_broken_also_by_one() {
+fn a_view_claim_holds_in_time_and_fails_through_a_single_front() {
     let step = r#"see { claim: "c" at: "!3" of: "3" state: GONE bound { within: "1s" } }"#;
-    let gone = |times: [u64; 3]| Told {
-        turns: (0..3)
-            .map(|by| turn(times[by], by, 3, MemberState::Dead))
+    let gone = |times: [u64; 3]| ScriptedCluster {
+        transitions: (0..3)
+            .map(|by| transition(times[by], by, 3, MemberState::Dead))
             .collect(),
-        ..Told::default()
+        ..ScriptedCluster::default()
     };
-    assert!(kept(step, gone([1100, 1500, 1990])));
-    assert!(!kept(step, gone([1100, 1500, 2100])), "one is late");
-    assert!(!kept(step, gone([1100, 1500, 9000])), "one never sees it");
-    let left = Told {
-        turns: (0..3)
-            .map(|by| turn(1100, by, 3, MemberState::Left))
+    assert!(holds(step, gone([1100, 1500, 1990])));
+    assert!(!holds(step, gone([1100, 1500, 2100])), "one is late");
+    assert!(!holds(step, gone([1100, 1500, 9000])), "one never sees it");
+    let left = ScriptedCluster {
+        transitions: (0..3)
+            .map(|by| transition(1100, by, 3, MemberState::Left))
             .collect(),
-        ..Told::default()
+        ..ScriptedCluster::default()
     };
-    assert!(!kept(step, left), "another state");
+    assert!(!holds(step, left), "another state");
     let grows =
         r#"see { claim: "c" at: "!3" of: "3" state: GONE bound { within: "1s" more: "500ms" } }"#;
     assert!(
-        kept(grows, gone([1100, 1500, 2400])),
+        holds(grows, gone([1100, 1500, 2400])),
         "the bound has a part that grows"
     );
 }
 
 #[test]
-fn accusations_count_from_the_mark_by_whom_and_of_whom_it_says() {
+fn accusations_count_from_the_mark_by_and_of_the_stated_fronts() {
     let step = |more: &str| format!(r#"accused {{ claim: "c" by: "0-1" but: "3" {more} }}"#);
-    let of = |turns: Vec<Turn>| Told {
-        turns,
+    let of = |transitions: Vec<MemberTransition>| ScriptedCluster {
+        transitions,
         now: 10,
-        ..Told::default()
+        ..ScriptedCluster::default()
     };
     assert!(
-        kept(&step(""), of(vec![turn(500, 0, 3, MemberState::Dead)])),
+        holds(
+            &step(""),
+            of(vec![transition(500, 0, 3, MemberState::Dead)])
+        ),
         "rightly"
     );
     assert!(
-        kept(&step(""), of(vec![turn(500, 2, 1, MemberState::Dead)])),
+        holds(
+            &step(""),
+            of(vec![transition(500, 2, 1, MemberState::Dead)])
+        ),
         "by another"
     );
     assert!(
-        kept(&step(""), of(vec![turn(500, 0, 2, MemberState::Suspect)])),
+        holds(
+            &step(""),
+            of(vec![transition(500, 0, 2, MemberState::Suspect)])
+        ),
         "only suspected"
     );
     assert!(
-        kept(&step(""), of(vec![turn(0, 0, 2, MemberState::Dead)])),
+        holds(&step(""), of(vec![transition(0, 0, 2, MemberState::Dead)])),
         "before the mark"
     );
-    assert!(!kept(
+    assert!(!holds(
         &step(""),
-        of(vec![turn(500, 0, 2, MemberState::Dead)])
+        of(vec![transition(500, 0, 2, MemberState::Dead)])
     ));
     let both = || {
         of(vec![
-            turn(500, 0, 2, MemberState::Dead),
-            turn(600, 1, 2, MemberState::Dead),
+            transition(500, 0, 2, MemberState::Dead),
+            transition(600, 1, 2, MemberState::Dead),
         ])
     };
-    assert!(kept(&step("most: 2"), both()) && !kept(&step("most: 1"), both()));
-    assert!(kept(&step("a_front: 0.5"), both()) && !kept(&step("a_front: 0.4"), both()));
+    assert!(holds(&step("most: 2"), both()) && !holds(&step("most: 1"), both()));
+    assert!(holds(&step("a_front: 0.5"), both()) && !holds(&step("a_front: 0.4"), both()));
 }
 
 #[test]
-fn standings_news_and_entries_hold_or_are_broken() {
-    let stands = r#"stands { claim: "c" at: "0,1" as: CUT_OFF bound { within: "1s" } }"#;
-    let of = |standings| Told {
-        standings,
-        ..Told::default()
+fn claims_on_local_health_restarts_and_entries_hold_or_fail() {
+    let health = r#"stands { claim: "c" at: "0,1" as: CUT_OFF bound { within: "1s" } }"#;
+    let of = |health_changes| ScriptedCluster {
+        health_changes,
+        ..ScriptedCluster::default()
     };
-    assert!(kept(
-        stands,
+    assert!(holds(
+        health,
         of(vec![
-            (0, 0, LocalHealth::Isolated),
-            (1900 * MS, 1, LocalHealth::Isolated)
+            health_change(0, 0, LocalHealth::Isolated),
+            health_change(1900 * MS, 1, LocalHealth::Isolated)
         ])
     ));
-    assert!(!kept(
-        stands,
+    assert!(!holds(
+        health,
         of(vec![
-            (0, 0, LocalHealth::Isolated),
-            (0, 1, LocalHealth::Degraded)
+            health_change(0, 0, LocalHealth::Isolated),
+            health_change(0, 1, LocalHealth::Degraded)
         ])
     ));
 
-    let news = r#"news { claim: "c" at: "!3" of: "3" bound { within: "1s" } }"#;
-    let heard = |by: usize, restarted| Turn {
+    let restarted_step = r#"news { claim: "c" at: "!3" of: "3" bound { within: "1s" } }"#;
+    let seen = |by: usize, restarted| MemberTransition {
         restarted,
-        ..turn(1200, by, 3, MemberState::Alive)
+        ..transition(1200, by, 3, MemberState::Alive)
     };
-    let all = |last| Told {
-        turns: vec![heard(0, true), heard(1, true), heard(2, last)],
-        ..Told::default()
+    let all = |last| ScriptedCluster {
+        transitions: vec![seen(0, true), seen(1, true), seen(2, last)],
+        ..ScriptedCluster::default()
     };
-    assert!(kept(news, all(true)));
-    assert!(!kept(news, all(false)), "one takes it for the same life");
+    assert!(holds(restarted_step, all(true)));
+    assert!(
+        !holds(restarted_step, all(false)),
+        "one takes it for the same life"
+    );
 
-    let holds = r#"holds { claim: "c" part: 0.6 bound { within: "1s" } age_within: "200ms" }"#;
-    let of = |entries| Told {
+    let known = r#"holds { claim: "c" part: 0.6 bound { within: "1s" } age_within: "200ms" }"#;
+    let of = |entries| ScriptedCluster {
         entries,
-        ..Told::default()
+        ..ScriptedCluster::default()
     };
-    assert!(kept(holds, of(vec![(0, 1, 0), (1500 * MS, 2, 100 * MS)])));
-    assert!(!kept(holds, of(vec![(0, 1, 0)])), "too few");
+    assert!(holds(
+        known,
+        of(vec![
+            known_entry(0, 1, 0),
+            known_entry(1500 * MS, 2, 100 * MS)
+        ])
+    ));
+    assert!(!holds(known, of(vec![known_entry(0, 1, 0)])), "too few");
     assert!(
-        !kept(holds, of(vec![(0, 1, 0), (0, 2, 300 * MS)])),
+        !holds(
+            known,
+            of(vec![known_entry(0, 1, 0), known_entry(0, 2, 300 * MS)])
+        ),
         "an age is wrong"
     );
 }
 
 #[test]
-fn steps_are_carried_out_in_their_order_and_what_cannot_be_done_is_said() {
+fn steps_are_carried_out_in_their_order() {
     let text = r#"name: "x" step { kill: "1" } step { heal {} } step { flood { fronts: "0" times: 3 } }
         step { see { claim: "c" at: "all" of: "all" state: ALIVE bound { within: "1s" } } }"#;
     let case = parse(text).unwrap();
-    let mut world = Told {
+    let mut cluster = ScriptedCluster {
         fronts: 4,
-        ..Told::default()
+        ..ScriptedCluster::default()
     };
-    play(&case, &mut world).unwrap();
+    play(&case, &mut cluster).unwrap();
     assert!(
-        matches!(world.acts[..], [Act::Kill(_), Act::Heal, Act::Flood(_, 3)]),
+        matches!(
+            cluster.acts[..],
+            [Act::Kill(_), Act::Heal, Act::Flood(_, 3)]
+        ),
         "{:?}",
-        world.acts
+        cluster.acts
     );
 }
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -13,7 +13,10 @@
 use crate::server::Fleet;
 use crate::udp_proxy::{write_key, Mesh};
 use crankpaddle_config::Config;
-use crankpaddle_fault_simulation::{play, Act, Case, Fronts, Played, Power, Rate, Turn, World};
+use crankpaddle_fault_simulation::{
+    play, Act, ActionError, Case, CaseResult, Cluster, DelayRange, Entry, Fronts, MemberTransition,
+    Power, Rate, RecoveryProgress,
+};
 use crankpaddle_membership::{LocalHealth, MemberState};
 use crankpaddle_net::{clock, spawn, Stack};
 use crankpaddle_server_protocol::list;
@@ -56,7 +59,7 @@
 #[derive(Debug)]
 pub struct Outcome {
     /// The claims of the case.
-    pub played: Played,
+    pub played: CaseResult,
     /// The six rules.
     pub verdict: Verdict,
     /// What went wrong outside both: fronts that ended badly, words that were missed.
@@ -112,7 +115,7 @@
 impl Outcome {
     /// Whether everything was as it must be.
     pub fn good(&self) -> bool {
-        let (kept, all) = self.played.kept();
+        let (kept, all) = self.played.satisfied_claims();
         kept == all && self.verdict.breaches.is_empty() && self.faults.is_empty()
     }
 }
@@ -282,7 +285,11 @@
             return Err(io::Error::other("the case has no hosts"));
         };
         match power {
-            Power::Off(fronts, of_servers, list) => {
+            Power::Off {
+                fronts,
+                servers: of_servers,
+                list_service: list,
+            } => {
                 let (fronts, of_servers) = (fronts.of(n), of_servers.of(servers));
                 self.crowd.power_went();
                 hosts.off(&fronts)?;
@@ -293,7 +300,11 @@
                 }
                 self.kill(&fronts)
             }
-            Power::On(fronts, of_servers, list) => {
+            Power::On {
+                fronts,
+                servers: of_servers,
+                list_service: list,
+            } => {
                 hosts.servers_on(&self.stage.fleet, &self.stage.list, &of_servers.of(servers))?;
                 if *list {
                     self.stage.list.set_gone(false);
@@ -302,7 +313,7 @@
             }
             Power::Copy(fronts) => hosts.copy(&fronts.of(n)),
             Power::Disk(fronts, spoil) => hosts.spoil(&fronts.of(n), *spoil),
-            Power::LoseBooks(of_servers) => {
+            Power::LoseSessionInventories(of_servers) => {
                 of_servers
                     .of(servers)
                     .into_iter()
@@ -313,7 +324,7 @@
     }
 }
 
-impl World for Rig<'_> {
+impl Cluster for Rig<'_> {
     fn fronts(&self) -> usize {
         self.processes.len()
     }
@@ -326,17 +337,17 @@
         std::thread::sleep(Duration::from_nanos(time));
     }
 
-    fn act(&mut self, act: &Act) -> Result<(), String> {
+    fn act(&mut self, act: &Act) -> Result<(), ActionError> {
         let n = self.processes.len();
         let of = |fronts: &Fronts| fronts.of(n);
-        let said = |e: io::Error| e.to_string();
+        let said = ActionError::Io;
         match act {
             Act::Start(fronts) => self.start(&of(fronts)).map_err(said)?,
             Act::Kill(fronts) => self.kill(&of(fronts)).map_err(said)?,
             Act::End(fronts) => {
                 let faults = self.end(&of(fronts)).map_err(said)?;
                 if !faults.is_empty() {
-                    return Err(faults.join("; "));
+                    return Err(ActionError::Faults(faults));
                 }
             }
             Act::Stop(fronts) => self.stop(&of(fronts), true),
@@ -350,7 +361,7 @@
             Act::Net { .. } | Act::Cut { .. } | Act::Heal | Act::Flood(..) => {
                 let act = act.clone();
                 self.mesh.change(move |net| {
-                    net.act(&act, n, (0, 0));
+                    net.act(&act, n, DelayRange { min: 0, max: 0 });
                 });
             }
             Act::Runs(fronts, other) => {
@@ -358,7 +369,8 @@
             }
             Act::Power(power) => self.power(power).map_err(said)?,
             Act::Write(_) => {
-                return Err("no front writes on the board yet; play it with --virtual".to_owned())
+                let what = "no front writes on the board yet; play it with --virtual";
+                return Err(ActionError::Unsupported(what.to_owned()));
             }
         }
         Ok(())
@@ -368,23 +380,29 @@
         self.views.state(at, of)
     }
 
-    fn standing(&self, at: usize) -> Option<LocalHealth> {
+    fn local_health(&self, at: usize) -> Option<LocalHealth> {
         self.views.standing(at)
     }
 
-    fn turns(&self, from: u64) -> Vec<Turn> {
+    fn transitions(&self, from: u64) -> Vec<MemberTransition> {
         self.views.turns(from)
     }
 
-    fn entry(&self, _: usize) -> Option<(u64, u64)> {
+    fn entry(&self, _: usize) -> Option<Entry> {
         None
     }
 
-    fn lost(&self, paid: bool) -> Option<(u64, u64, u64)> {
-        self.hosts.as_ref().map(|_| Rig::lost(self, paid))
+    fn recovery_progress(&self, paid: bool) -> Option<RecoveryProgress> {
+        self.hosts.as_ref()?;
+        let (restored, left, lost) = self.lost(paid);
+        Some(RecoveryProgress {
+            restored,
+            left,
+            lost,
+        })
     }
 
-    fn warming(&self, sessions: f64) -> Option<u64> {
+    fn warm_up_time(&self, sessions: f64) -> Option<u64> {
         self.hosts.as_ref()?.warming(&self.stage.config, sessions)
     }
 
--- a/crates/testbed/src/membership_poll.rs
+++ b/crates/testbed/src/membership_poll.rs
@@ -1,7 +1,7 @@
 //! What fronts tell of each other at `GET /members`, asked for over and over: the only word that a rig takes on them.
 use crate::udp_proxy::Mesh;
 use crankpaddle_api::describe::{Members, OwnStanding, PeerState};
-use crankpaddle_fault_simulation::{number, Turn};
+use crankpaddle_fault_simulation::{front_number, MemberTransition};
 use crankpaddle_membership::{LocalHealth, MemberState};
 use crankpaddle_net::clock;
 use std::net::SocketAddr;
@@ -27,7 +27,7 @@
 #[derive(Default)]
 struct All {
     views: Vec<View>,
-    turns: Vec<Turn>,
+    turns: Vec<MemberTransition>,
     missed: Vec<String>,
 }
 
@@ -119,7 +119,7 @@
         }
         view.standing = Some(standing(members.standing));
         for peer in &members.members {
-            if let Some(known) = number(&peer.name).and_then(|of| view.states.get_mut(of)) {
+            if let Some(known) = front_number(&peer.name).and_then(|of| view.states.get_mut(of)) {
                 *known = Some(state(peer.state));
             }
         }
@@ -133,11 +133,11 @@
                 ));
             }
             view.last = turn.number;
-            let Some(of) = number(&turn.name) else {
+            let Some(of) = front_number(&turn.name) else {
                 continue;
             };
             let at = now.saturating_sub(turn.ago_ms * 1_000_000);
-            turns.push(Turn {
+            turns.push(MemberTransition {
                 at,
                 by: front,
                 of,
@@ -169,8 +169,8 @@
     }
 
     /// Changes from a time on, in the order of their times.
-    pub fn turns(&self, from: u64) -> Vec<Turn> {
-        let mut turns: Vec<Turn> = self
+    pub fn turns(&self, from: u64) -> Vec<MemberTransition> {
+        let mut turns: Vec<MemberTransition> = self
             .lock()
             .turns
             .iter()
--- a/crates/testbed/src/udp_proxy.rs
+++ b/crates/testbed/src/udp_proxy.rs
@@ -1,11 +1,11 @@
-//! The net between fronts' peers: a UDP socket for every ordered pair, in the middle, where a [`Weather`] decides what becomes
+//! The net between fronts' peers: a UDP socket for every ordered pair, in the middle, where a [`NetworkConditions`] decides what becomes
 //! of each datagram.
 //!
 //! A front's book names, for each other front, the socket that stands for it. What a front sends there goes to the other from the
 //! socket that stands for the sender in the other's book. Where a front itself is reached is learned from what it sends and says.
 //!
 //! It runs on a thread of its own, so that what it adds to a datagram's time is its wait in epoll and nothing of the stand-ins'.
-use crankpaddle_fault_simulation::Weather;
+use crankpaddle_fault_simulation::{DelayRange, Link, NetworkConditions};
 use crankpaddle_net::clock;
 use rustix::event::epoll::{self, CreateFlags, EventData, EventFlags};
 use rustix::event::Timespec;
@@ -82,7 +82,7 @@
             sockets,
             poll,
             homes: vec![None; size],
-            weather: Weather::fair((0, 0)),
+            weather: NetworkConditions::good(DelayRange { min: 0, max: 0 }),
             rng: oorandom::Rand64::new(u128::from(seed)),
             under_way: BinaryHeap::new(),
             count: 0,
@@ -141,7 +141,7 @@
     }
 
     /// Changes what becomes of datagrams that are read from now on, some milliseconds late.
-    pub fn change(&self, change: impl FnOnce(&mut Weather) + Send + 'static) {
+    pub fn change(&self, change: impl FnOnce(&mut NetworkConditions) + Send + 'static) {
         self.tell(Box::new(|carrier| change(&mut carrier.weather)));
     }
 
@@ -166,7 +166,7 @@
     sockets: Sockets,
     poll: OwnedFd,
     homes: Vec<Option<SocketAddr>>,
-    weather: Weather,
+    weather: NetworkConditions,
     rng: oorandom::Rand64,
     under_way: BinaryHeap<Reverse<(u64, u64, Datagram)>>,
     count: u64,
@@ -223,9 +223,9 @@
                     self.sent[from].0.fetch_add(1, Ordering::Relaxed);
                     self.sent[from].1.fetch_add(n as u64, Ordering::Relaxed);
                     self.homes[from] = Some(home);
-                    for at in self
-                        .weather
-                        .arrivals(clock::now(), (from, to), n, &mut self.rng)
+                    for at in
+                        self.weather
+                            .arrivals(clock::now(), Link { from, to }, n, &mut self.rng)
                     {
                         self.count += 1;
                         self.under_way.push(Reverse((
