--- a/crates/cli/src/lab/fleet.rs
+++ b/crates/cli/src/lab/fleet.rs
@@ -179,7 +179,7 @@
             "up to 100 fronts can be processes here; more in virtual time",
         ));
     }
-    if case.needs_board() {
+    if case.needs_gossip_state() {
         return Err(cannot(
             "it writes on the board, which no front does yet; play it with --virtual",
         ));
--- a/crates/fault-simulation/src/scenario.rs
+++ b/crates/fault-simulation/src/scenario.rs
@@ -53,7 +53,7 @@
 impl Case {
     /// Whether it writes entries of the gossip state, which only runs in virtual time do yet.
     #[must_use]
-    pub fn needs_board(&self) -> bool {
+    pub fn needs_gossip_state(&self) -> bool {
         self.steps
             .iter()
             .any(|step| matches!(step, Step::Act(Act::Write(_))))
--- a/crates/membership/src/membership/entries.rs
+++ b/crates/membership/src/membership/entries.rs
@@ -101,7 +101,7 @@
             || update.version.incarnation_id() > own_incarnation;
         if is_implausible {
             let epoch = update.version.epoch.max(self.own_version.epoch);
-            self.raise_epoch(now, epoch.saturating_add(1));
+            self.advance_epoch(now, epoch.saturating_add(1));
             return;
         }
         if let Some(entry) = self.gossip_state.read(now, &update.entry) {
--- a/crates/membership/src/membership/own_identity.rs
+++ b/crates/membership/src/membership/own_identity.rs
@@ -52,7 +52,7 @@
         if reported.state == MemberState::Left || reported.refutations >= IMPLAUSIBLE_COUNT {
             // Only this member itself announces that it leaves, and it never refuted that often.
             self.counters.forged += 1;
-            self.raise_epoch(now, self.own_version.epoch + 1);
+            self.advance_epoch(now, self.own_version.epoch + 1);
             return;
         }
         if reported.state != MemberState::Alive
@@ -94,7 +94,7 @@
             self.give_up_name(out);
             return;
         }
-        self.raise_epoch(now, other.epoch.saturating_add(1));
+        self.advance_epoch(now, other.epoch.saturating_add(1));
     }
 
     fn give_up_name(&mut self, out: &mut Vec<Output>) {
@@ -104,7 +104,7 @@
     }
 
     /// Raises the own epoch; the own entries are written again under it.
-    pub(super) fn raise_epoch(&mut self, now: u64, epoch: u64) {
+    pub(super) fn advance_epoch(&mut self, now: u64, epoch: u64) {
         self.own_version.epoch = epoch;
         self.own_version.refutations = 0;
         self.enqueue_own_version(now);
