--- a/crates/cli/src/lab/fleet.rs
+++ b/crates/cli/src/lab/fleet.rs
@@ -90,7 +90,7 @@
 pub(super) fn run(args: &FleetArgs) -> Result<ExitCode, Failure> {
     if args.list {
         for (name, _) in CASES {
-            println!("{name:10} {}", read_case(name)?.what);
+            println!("{name:10} {}", read_case(name)?.description);
         }
         return Ok(ExitCode::SUCCESS);
     }
@@ -102,7 +102,7 @@
     };
     eprintln!(
         "fleet {}: seed {}, {}{how}",
-        case.name, args.seed, case.what
+        case.name, args.seed, case.description
     );
     if args.virtually {
         let mut net = SimulatedNetwork::for_case(&case, args.fronts as usize, args.seed);
@@ -143,7 +143,7 @@
         eprintln!(
             "{}: {}: {}",
             if claim.holds { "kept" } else { "BROKEN" },
-            claim.what,
+            claim.claim,
             claim.measured
         );
     }
--- a/crates/fault-simulation/examples/foca.rs
+++ b/crates/fault-simulation/examples/foca.rs
@@ -421,7 +421,7 @@
                 println!(
                     "{}: {}: {}",
                     if claim.holds { "kept" } else { "BROKEN" },
-                    claim.what,
+                    claim.claim,
                     claim.measured
                 );
             }
--- a/crates/fault-simulation/src/runner.rs
+++ b/crates/fault-simulation/src/runner.rs
@@ -9,7 +9,7 @@
 #[derive(Clone, Debug)]
 pub struct ClaimResult {
     /// What is claimed, with its bound.
-    pub what: String,
+    pub claim: String,
     /// What was measured.
     pub measured: String,
     /// Whether the claim holds.
--- a/crates/fault-simulation/src/runner/checks.rs
+++ b/crates/fault-simulation/src/runner/checks.rs
@@ -81,7 +81,7 @@
         let count = transitions.iter().filter(is_false_accusation).count();
         let allowed = f64::from(most) + per_front * self.fleet as f64;
         ClaimResult {
-            what: self.name.to_owned(),
+            claim: self.name.to_owned(),
             measured: format!("{count} accusations"),
             holds: count as f64 <= allowed,
         }
@@ -170,7 +170,7 @@
         let bound = bound.of(self.fleet);
         let time = took.map_or("not at all".to_owned(), seconds);
         ClaimResult {
-            what: format!("{} within {}", self.name, seconds(bound)),
+            claim: format!("{} within {}", self.name, seconds(bound)),
             measured: time + detail,
             holds: took.is_some_and(|took| took <= bound),
         }
--- a/crates/fault-simulation/src/scenario.rs
+++ b/crates/fault-simulation/src/scenario.rs
@@ -37,7 +37,7 @@
     /// Its name.
     pub name: String,
     /// A description of it.
-    pub what: String,
+    pub description: String,
     /// Fronts that run at first.
     pub first: Fronts,
     /// Fronts through which all join at first.
--- a/crates/fault-simulation/src/scenario/parser.rs
+++ b/crates/fault-simulation/src/scenario/parser.rs
@@ -48,7 +48,7 @@
         }
         Case {
             name: raw.name.clone(),
-            what: raw.what.clone(),
+            description: raw.what.clone(),
             first: self.fronts("first", or_default(&raw.first, "all")),
             seeds: self.fronts("seeds", or_default(&raw.seeds, "0")),
             steps,
