--- a/crates/cli/src/lab/fleet.rs
+++ b/crates/cli/src/lab/fleet.rs
@@ -2,7 +2,7 @@
 use super::{named, read_day, temporary, wrong};
 use crate::{Failure, BAD_FILE};
 use clap::Args;
-use crankpaddle_fault_simulation::{Case, Net, Played, CASES};
+use crankpaddle_fault_simulation::{Case, CaseResult, SimulatedNetwork, CASES};
 use crankpaddle_testbed::fleet::{Memory, Plan};
 use crankpaddle_testbed::scenario_runner;
 use std::path::PathBuf;
@@ -90,7 +90,7 @@
 pub(super) fn run(args: &FleetArgs) -> Result<ExitCode, Failure> {
     if args.list {
         for (name, _) in CASES {
-            println!("{name:10} {}", read_case(name)?.what);
+            println!("{name:10} {}", read_case(name)?.description);
         }
         return Ok(ExitCode::SUCCESS);
     }
@@ -102,13 +102,13 @@
     };
     eprintln!(
         "fleet {}: seed {}, {}{how}",
-        case.name, args.seed, case.what
+        case.name, args.seed, case.description
     );
     if args.virtually {
-        let mut net = Net::of(&case, args.fronts as usize, args.seed);
+        let mut net = SimulatedNetwork::for_case(&case, args.fronts as usize, args.seed);
         let played =
-            crankpaddle_fault_simulation::play(&case, &mut net).map_err(|what| Failure {
-                what,
+            crankpaddle_fault_simulation::play(&case, &mut net).map_err(|error| Failure {
+                what: error.to_string(),
                 status: BAD_FILE,
             })?;
         let (kept, all) = print_claims(&played);
@@ -138,18 +138,18 @@
     })
 }
 
-fn print_claims(played: &Played) -> (usize, usize) {
+fn print_claims(played: &CaseResult) -> (usize, usize) {
     for claim in &played.claims {
         eprintln!(
             "{}: {}: {}",
-            if claim.kept { "kept" } else { "BROKEN" },
-            claim.what,
+            if claim.holds { "kept" } else { "BROKEN" },
+            claim.claim,
             claim.measured
         );
     }
     let (datagrams, bytes) = played.sent;
     eprintln!("sent by one front at most: {datagrams:.1} datagrams, {bytes:.0} bytes a second");
-    played.kept()
+    played.satisfied_claims()
 }
 
 fn processes(case: &Case, args: &FleetArgs) -> Result<ExitCode, Failure> {
@@ -179,7 +179,7 @@
             "up to 100 fronts can be processes here; more in virtual time",
         ));
     }
-    if case.needs_board() {
+    if case.needs_gossip_state() {
         return Err(cannot(
             "it writes on the board, which no front does yet; play it with --virtual",
         ));
--- a/crates/daemon/src/membership_runner.rs
+++ b/crates/daemon/src/membership_runner.rs
@@ -266,7 +266,7 @@
                 restarted = change.restarted,
                 "member state changed"
             ),
-            MemberState::Suspect | MemberState::Gone => tracing::warn!(
+            MemberState::Suspect | MemberState::Dead => tracing::warn!(
                 member = change.name,
                 ?state,
                 by = change.by,
--- a/crates/daemon/src/membership_status.rs
+++ b/crates/daemon/src/membership_status.rs
@@ -61,8 +61,8 @@
         // The fields are named as in the JSON of `GET /members`.
         standing: local_health_status(membership.local_health()),
         members: members.map(|member| describe_member(now, member)).collect(),
-        sent: counters.sent.0,
-        heard: counters.heard,
+        sent: counters.datagrams_sent,
+        heard: counters.datagrams_received,
         dropped: counters.dropped(),
         counted: named
             .map(|(name, count)| (name.to_owned(), count))
@@ -96,7 +96,7 @@
     match state {
         MemberState::Alive => PeerState::Alive,
         MemberState::Suspect => PeerState::Suspect,
-        MemberState::Gone => PeerState::Gone,
+        MemberState::Dead => PeerState::Gone,
         MemberState::Left => PeerState::Left,
     }
 }
--- /dev/null
+++ b/crates/fault-simulation/src/simulated_network.rs
@@ -0,0 +1,324 @@
+//! A fleet in one process: members on a network in memory and a virtual clock. Everything that is drawn follows from one seed.
+mod member_config;
+mod processes;
+mod records;
+
+pub use member_config::{front_name, front_number, member_config};
+pub use records::{ChangeRecord, HealthRecord, SentDatagram};
+
+use crate::cluster;
+use crate::event_queue::EventQueue;
+use crate::network_conditions::{Link, NetworkConditions};
+use crate::scenario::Case;
+use crate::simulated_process::{SOCKET_BACKLOG, START_OF_TIME, USUAL_DELAY};
+use crate::MS;
+use crankpaddle_membership::{MemberState, Membership, MembershipConfig, Output};
+use std::collections::BTreeMap;
+
+/// Time between two looks at whether a condition holds.
+const POLL_INTERVAL: u64 = 50 * MS;
+/// The epoch of restarted processes: their host's clock was set back.
+const RESTART_EPOCH: u64 = 500_000;
+/// Incarnations of restarted processes are counted from here on.
+const RESTART_INCARNATIONS: u64 = 1_000_000;
+
+enum Event {
+    Datagram(SentDatagram),
+    Expiry { node: usize },
+}
+
+/// A process of the fleet.
+pub struct SimulatedNode {
+    /// Its state machine.
+    pub membership: Membership,
+    /// Whether it runs, paused or not.
+    pub is_running: bool,
+    /// Whether it is paused.
+    pub is_paused: bool,
+    address: String,
+    seeds: Vec<usize>,
+    backlog: Vec<SentDatagram>, // Received while it was paused.
+    expiry: u64,                // Of the timer that is scheduled.
+}
+
+/// What previous incarnations of a process sent.
+#[derive(Clone, Copy, Default)]
+struct SentBefore {
+    datagrams: u64,
+    bytes: u64,
+}
+
+/// The network and the processes on it.
+pub struct SimulatedNetwork {
+    /// The virtual clock, nanoseconds.
+    pub now: u64,
+    /// The processes, by number.
+    pub nodes: Vec<SimulatedNode>,
+    /// Changes of members' views, in order.
+    pub changes: Vec<ChangeRecord>,
+    /// Changes of members' own health, in order.
+    pub health_changes: Vec<HealthRecord>,
+    /// The conditions of the network.
+    pub conditions: NetworkConditions,
+    /// Whether sent datagrams are captured.
+    pub is_capturing: bool,
+    /// The captured datagrams.
+    pub captured: Vec<SentDatagram>,
+    queue: EventQueue<Event>,
+    rng: oorandom::Rand64,
+    numbers: BTreeMap<String, usize>, // By address.
+    last_write: Option<LastWrite>,
+    restarts: u64,
+    sent_before: Vec<SentBefore>,
+}
+
+/// The entry that was written last.
+struct LastWrite {
+    node: usize,
+    at: u64,
+}
+
+impl SimulatedNetwork {
+    /// An empty network.
+    #[must_use]
+    pub fn new(seed: u64) -> SimulatedNetwork {
+        SimulatedNetwork {
+            now: START_OF_TIME,
+            nodes: Vec::new(),
+            changes: Vec::new(),
+            health_changes: Vec::new(),
+            conditions: NetworkConditions::good(USUAL_DELAY),
+            is_capturing: false,
+            captured: Vec::new(),
+            queue: EventQueue::default(),
+            rng: oorandom::Rand64::new(u128::from(seed)),
+            numbers: BTreeMap::new(),
+            last_write: None,
+            restarts: 0,
+            sent_before: Vec::new(),
+        }
+    }
+
+    /// A fleet of so many fronts that all join through the first.
+    #[must_use]
+    pub fn with_fleet(fronts: usize, seed: u64) -> SimulatedNetwork {
+        let mut network = SimulatedNetwork::new(seed);
+        for number in 0..fronts {
+            network.start(member_config(number, &[0]));
+        }
+        network
+    }
+
+    /// A fleet of so many fronts for a case.
+    #[must_use]
+    pub fn for_case(case: &Case, fronts: usize, seed: u64) -> SimulatedNetwork {
+        let mut network = SimulatedNetwork::new(seed);
+        let seeds = case.seeds.of(fronts);
+        for number in 0..fronts {
+            network.start(member_config(number, &seeds));
+            network.nodes[number].is_running = case.first.has(number, fronts);
+        }
+        network
+    }
+
+    /// Starts a process, in place of the one at its address if there is any; its number.
+    pub fn start(&mut self, config: MembershipConfig) -> usize {
+        let address = config.address.clone();
+        let seeds = config
+            .seeds
+            .iter()
+            .filter_map(|seed| front_number(seed))
+            .collect();
+        let membership = Membership::new(config, self.rng.rand_u64(), self.now);
+        let node = SimulatedNode {
+            membership,
+            is_running: true,
+            is_paused: false,
+            address: address.clone(),
+            seeds,
+            backlog: Vec::new(),
+            expiry: u64::MAX,
+        };
+        let number = match self.numbers.get(&address).copied() {
+            Some(number) => self.replace(number, node),
+            None => self.add(address, node),
+        };
+        self.schedule_expiry(number);
+        number
+    }
+
+    fn replace(&mut self, number: usize, node: SimulatedNode) -> usize {
+        let counters = self.nodes[number].membership.counters();
+        let sent_before = &mut self.sent_before[number];
+        sent_before.datagrams += counters.datagrams_sent;
+        sent_before.bytes += counters.bytes_sent;
+        self.nodes[number] = node;
+        number
+    }
+
+    fn add(&mut self, address: String, node: SimulatedNode) -> usize {
+        let number = self.nodes.len();
+        self.nodes.push(node);
+        self.sent_before.push(SentBefore::default());
+        self.numbers.insert(address, number);
+        number
+    }
+
+    /// Has a member do something, and carries out its outputs.
+    pub fn with_member<T>(
+        &mut self,
+        number: usize,
+        action: impl FnOnce(&mut Membership, u64, &mut Vec<Output>) -> T,
+    ) -> T {
+        let mut out = Vec::new();
+        let result = action(&mut self.nodes[number].membership, self.now, &mut out);
+        for output in out {
+            self.carry_out_output(number, output);
+        }
+        self.schedule_expiry(number);
+        result
+    }
+
+    fn carry_out_output(&mut self, number: usize, output: Output) {
+        match output {
+            Output::Send { address, bytes, .. } => {
+                let Some(to) = self.numbers.get(&address).copied() else {
+                    return;
+                };
+                let datagram = SentDatagram {
+                    from: number,
+                    to,
+                    bytes,
+                };
+                if self.is_capturing {
+                    self.captured.push(datagram.clone());
+                }
+                self.transmit(datagram);
+            }
+            Output::MemberChanged(change) => self.changes.push(ChangeRecord {
+                at: self.now,
+                by: number,
+                change,
+            }),
+            Output::LocalHealthChanged(health) => self.health_changes.push(HealthRecord {
+                at: self.now,
+                node: number,
+                health,
+            }),
+        }
+    }
+
+    /// Sends a datagram through the network.
+    pub fn transmit(&mut self, datagram: SentDatagram) {
+        let link = Link {
+            from: datagram.from,
+            to: datagram.to,
+        };
+        let size = datagram.bytes.len();
+        let arrivals = self
+            .conditions
+            .arrivals(self.now, link, size, &mut self.rng);
+        for at in arrivals {
+            self.queue.schedule(at, Event::Datagram(datagram.clone()));
+        }
+    }
+
+    fn schedule_expiry(&mut self, number: usize) {
+        let node = &mut self.nodes[number];
+        let at = node.membership.next_expiry().max(self.now);
+        if at != node.expiry && at < u64::MAX {
+            node.expiry = at;
+            self.queue.schedule(at, Event::Expiry { node: number });
+        }
+    }
+
+    /// Lets virtual time pass.
+    pub fn advance(&mut self, time: u64) {
+        let until = self.now + time;
+        while let Some((at, event)) = self.queue.pop_until(until) {
+            self.now = self.now.max(at);
+            match event {
+                Event::Datagram(datagram) => self.deliver(datagram),
+                Event::Expiry { node } => self.expire(node, at),
+            }
+        }
+        self.now = until;
+    }
+
+    /// Runs a member's timers, unless the event was overtaken by another one.
+    fn expire(&mut self, number: usize, at: u64) {
+        let node = &mut self.nodes[number];
+        if node.is_running && !node.is_paused && node.expiry == at {
+            node.expiry = u64::MAX;
+            self.with_member(number, Membership::expire);
+        }
+    }
+
+    fn deliver(&mut self, datagram: SentDatagram) {
+        let receiver = &mut self.nodes[datagram.to];
+        if !receiver.is_running {
+            return;
+        }
+        if receiver.is_paused {
+            if receiver.backlog.len() < SOCKET_BACKLOG {
+                receiver.backlog.push(datagram);
+            }
+            return;
+        }
+        let from = self.nodes[datagram.from].address.clone();
+        self.with_member(datagram.to, |member, now, out| {
+            member.receive(now, &from, &datagram.bytes, out);
+        });
+    }
+
+    /// Ends a process without notice.
+    pub fn kill(&mut self, number: usize) {
+        self.nodes[number].is_running = false;
+    }
+
+    /// Pauses a process.
+    pub fn pause(&mut self, number: usize) {
+        self.nodes[number].is_paused = true;
+    }
+
+    /// Resumes a process: what its socket buffered is received first, then its timers run.
+    pub fn resume(&mut self, number: usize) {
+        self.nodes[number].is_paused = false;
+        for datagram in std::mem::take(&mut self.nodes[number].backlog) {
+            self.deliver(datagram);
+        }
+        self.with_member(number, Membership::expire);
+    }
+
+    /// Whether each of `at` sees each of `of` (but itself) in this state.
+    #[must_use]
+    pub fn all_see(&self, at: &[usize], of: &[usize], state: MemberState) -> bool {
+        cluster::all_see(self, at, of, state)
+    }
+
+    /// Advances until a condition holds; how long it took.
+    pub fn advance_until(
+        &mut self,
+        within: u64,
+        holds: impl Fn(&SimulatedNetwork) -> bool,
+    ) -> Option<u64> {
+        let started = self.now;
+        while self.now - started <= within {
+            if holds(self) {
+                return Some(self.now - started);
+            }
+            self.advance(POLL_INTERVAL);
+        }
+        None
+    }
+
+    /// Members that were declared dead from a time on, each with the number of the member that saw it so.
+    #[must_use]
+    pub fn accusations(&self, from: u64) -> Vec<(usize, String)> {
+        self.changes
+            .iter()
+            .filter(|record| record.at >= from && record.change.state == MemberState::Dead)
+            .map(|record| (record.by, record.change.name.clone()))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/membership/src/membership/dissemination.rs
@@ -0,0 +1,202 @@
+//! Outgoing datagrams: each carries as many updates as fit, those sent least often first, within the budget.
+use super::gossip_queue::{GossipItem, QueuedItem};
+use super::{Membership, Output, MILLISECOND};
+use crate::wire::{Body, DatagramBuilder, Header, MemberUpdate};
+
+/// Time between two rounds of gossip while there are updates to disseminate.
+const GOSSIP_INTERVAL: u64 = 200 * MILLISECOND;
+/// Time from a new update to the next round at the latest.
+const GOSSIP_DELAY: u64 = GOSSIP_INTERVAL / 4;
+/// Members that each round is sent to.
+const GOSSIP_FANOUT: usize = 3;
+/// Each update is sent this many times the logarithm of the fleet's size (SWIM's lambda).
+const RETRANSMIT_MULTIPLIER: f64 = 4.0;
+/// Queued updates that are considered for one datagram; no more would fit.
+const MAX_UPDATES_PER_DATAGRAM: usize = 40;
+
+/// Part of the budget that gossip leaves for probes and answers.
+pub(super) const GOSSIP_RESERVE: f64 = 0.3;
+/// Part of the budget that answers with updates leave for probes and acknowledgements.
+pub(super) const ANSWER_RESERVE: f64 = 0.2;
+
+/// Where a datagram goes.
+#[derive(Clone, Copy)]
+pub(super) struct Destination<'a> {
+    /// The member's name; empty where it is not known yet.
+    pub(super) name: &'a str,
+    pub(super) address: &'a str,
+}
+
+/// A datagram to send.
+#[derive(Clone, Copy)]
+pub(super) struct Message<'a> {
+    body: &'a Body,
+    /// Updates that go before the queued ones.
+    first_items: &'a [GossipItem],
+    /// Part of the budget that must remain.
+    reserve: f64,
+}
+
+impl<'a> Message<'a> {
+    /// A probe or its answer: it may use the whole budget.
+    pub(super) fn new(body: &'a Body) -> Message<'a> {
+        Message {
+            body,
+            first_items: &[],
+            reserve: 0.0,
+        }
+    }
+
+    /// The same with updates that go before the queued ones.
+    pub(super) fn with_items(self, first_items: &'a [GossipItem]) -> Message<'a> {
+        Message {
+            first_items,
+            ..self
+        }
+    }
+
+    /// The same, sent only if this part of the budget remains.
+    pub(super) fn with_reserve(self, reserve: f64) -> Message<'a> {
+        Message { reserve, ..self }
+    }
+}
+
+/// An encoded datagram and the queued items that it carries.
+struct EncodedDatagram {
+    bytes: Vec<u8>,
+    queued_items: Vec<QueuedItem>,
+}
+
+impl Membership {
+    /// Queues an item for dissemination.
+    pub(super) fn enqueue(&mut self, item: GossipItem, now: u64) {
+        self.gossip_queue.push(item);
+        self.gossip_at = self.gossip_at.min(now.saturating_add(GOSSIP_DELAY));
+    }
+
+    /// Queues the own version for dissemination.
+    pub(super) fn enqueue_own_version(&mut self, now: u64) {
+        self.enqueue(GossipItem::Member(self.config.name.clone()), now);
+    }
+
+    /// What is known of a member, this one included.
+    pub(super) fn member_update(&self, name: &str) -> Option<MemberUpdate> {
+        if name == self.config.name {
+            return Some(MemberUpdate {
+                name: name.to_owned(),
+                address: self.config.address.clone(),
+                version: self.own_version,
+                reported_by: name.to_owned(),
+            });
+        }
+        let record = self.members.get(name)?;
+        Some(MemberUpdate {
+            name: name.to_owned(),
+            address: record.address.clone(),
+            version: record.version,
+            reported_by: record.reported_by.clone(),
+        })
+    }
+
+    /// Sends a datagram, filled up with queued updates. False if the budget does not allow it.
+    pub(super) fn send(
+        &mut self,
+        now: u64,
+        to: Destination<'_>,
+        message: Message<'_>,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        let datagram = self.encode(now, to.name, message);
+        let size = datagram.bytes.len();
+        if !self.budget.try_take(now, size, message.reserve) {
+            self.counters.over_budget += 1;
+            return false;
+        }
+        let limit = self.transmit_limit();
+        for queued in datagram.queued_items {
+            self.gossip_queue.record_transmission(queued, limit);
+        }
+        self.counters.datagrams_sent += 1;
+        self.counters.bytes_sent += size as u64;
+        out.push(Output::Send {
+            name: to.name.to_owned(),
+            address: to.address.to_owned(),
+            bytes: datagram.bytes,
+        });
+        true
+    }
+
+    /// Sends a datagram to a known member at the address that it announced.
+    pub(super) fn send_to_member(
+        &mut self,
+        now: u64,
+        name: &str,
+        message: Message<'_>,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        let Some(record) = self.members.get(name) else {
+            return false;
+        };
+        let address = record.address.clone();
+        let to = Destination {
+            name,
+            address: &address,
+        };
+        self.send(now, to, message, out)
+    }
+
+    /// Sends one round of gossip if there are updates to disseminate.
+    pub(super) fn gossip(&mut self, now: u64, out: &mut Vec<Output>) {
+        if self.gossip_queue.is_empty() {
+            self.gossip_at = u64::MAX;
+            return;
+        }
+        self.gossip_at = now.saturating_add(GOSSIP_INTERVAL);
+        for name in self.choose_members(GOSSIP_FANOUT, "") {
+            let message = Message::new(&Body::Gossip).with_reserve(GOSSIP_RESERVE);
+            self.send_to_member(now, &name, message, out);
+        }
+    }
+
+    fn encode(&self, now: u64, to: &str, message: Message<'_>) -> EncodedDatagram {
+        let mut builder = DatagramBuilder::new(&self.header(to), message.body);
+        for item in message.first_items {
+            self.add_item(now, item, &mut builder);
+        }
+        let mut queued_items = self.gossip_queue.least_sent(MAX_UPDATES_PER_DATAGRAM);
+        queued_items.retain(|queued| self.add_item(now, &queued.item, &mut builder));
+        EncodedDatagram {
+            bytes: builder.finish(&self.config.key),
+            queued_items,
+        }
+    }
+
+    pub(super) fn header(&self, to: &str) -> Header {
+        Header {
+            from: self.config.name.clone(),
+            address: self.config.address.clone(),
+            version: self.own_version,
+            to: to.to_owned(),
+        }
+    }
+
+    /// Adds an item's update; false if it does not fit, or nothing is known of the item any more.
+    fn add_item(&self, now: u64, item: &GossipItem, builder: &mut DatagramBuilder) -> bool {
+        match item {
+            GossipItem::Member(name) => self
+                .member_update(name)
+                .is_some_and(|update| builder.add_member_update(&update)),
+            GossipItem::Entry(entry) => self
+                .gossip_state
+                .update(now, entry)
+                .is_some_and(|update| builder.add_entry_update(&update)),
+        }
+    }
+
+    /// How often each update is sent.
+    fn transmit_limit(&self) -> u32 {
+        // This member too, and one more so that the logarithm is above zero.
+        let fleet_size = (self.members.len() + 2) as f64;
+        (RETRANSMIT_MULTIPLIER * fleet_size.log10()).ceil() as u32
+    }
+}
--- /dev/null
+++ b/crates/membership/src/membership/probe.rs
@@ -0,0 +1,200 @@
+//! Probes: first direct, then through helpers. A member that answers neither way becomes suspect.
+use super::dissemination::Message;
+use super::gossip_queue::GossipItem;
+use super::{Membership, Output};
+use crate::local_health::LocalHealth;
+use crate::member_state::MemberState;
+use crate::wire::Body;
+
+/// How far a probe has come.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum ProbePhase {
+    /// A direct answer is awaited until this time.
+    AwaitingDirectAck { until: u64 },
+    /// Helpers were asked to probe the target.
+    AwaitingIndirectAck,
+    /// The target answered.
+    Acknowledged,
+}
+
+/// The probe in progress.
+#[derive(Clone)]
+pub(super) struct Probe {
+    target: String,
+    sequence: u32,
+    sent_at: u64,
+    phase: ProbePhase,
+    ends_at: u64,
+    helpers: usize,
+    nacks: usize,
+}
+
+impl Probe {
+    /// When the probe must be looked at next.
+    pub(super) fn next_expiry(&self) -> u64 {
+        match self.phase {
+            ProbePhase::AwaitingDirectAck { until } => until,
+            ProbePhase::AwaitingIndirectAck | ProbePhase::Acknowledged => self.ends_at,
+        }
+    }
+
+    fn is_acknowledged(&self) -> bool {
+        self.phase == ProbePhase::Acknowledged
+    }
+
+    fn has_missed_direct_ack(&self, now: u64) -> bool {
+        matches!(self.phase, ProbePhase::AwaitingDirectAck { until } if now >= until)
+    }
+}
+
+impl Membership {
+    /// Carries the probe in progress on, and begins the next one when it is time.
+    pub(super) fn run_probe(&mut self, now: u64, out: &mut Vec<Output>) {
+        self.request_indirect_probes(now, out);
+        if let Some(probe) = self.probe.take_if(|probe| now >= probe.ends_at) {
+            self.finish_probe(now, &probe, out);
+            self.probe_at = now;
+        }
+        if self.probe.is_none() && now >= self.probe_at {
+            self.begin_probe(now, out);
+        }
+    }
+
+    fn begin_probe(&mut self, now: u64, out: &mut Vec<Output>) {
+        self.probe_at = now.saturating_add(self.config.probe_interval);
+        let Some(target) = self.next_probe_target() else {
+            return;
+        };
+        let sequence = self.next_sequence();
+        // A suspect is sent its state, so that it can refute at once.
+        let items: Vec<GossipItem> = match self.members.state(&target) {
+            Some(MemberState::Suspect) => vec![GossipItem::Member(target.clone())],
+            _ => Vec::new(),
+        };
+        let ping = Body::Ping { sequence };
+        if !self.send_to_member(now, &target, Message::new(&ping).with_items(&items), out) {
+            return;
+        }
+        let multiplier = self.local_health_monitor.multiplier();
+        let timeout = self.config.probe_timeout.saturating_mul(multiplier);
+        let duration = self.config.probe_interval.saturating_mul(multiplier);
+        let ends_at = now.saturating_add(duration);
+        self.probe = Some(Probe {
+            target,
+            sequence,
+            sent_at: now,
+            phase: ProbePhase::AwaitingDirectAck {
+                until: now.saturating_add(timeout).min(ends_at),
+            },
+            ends_at,
+            helpers: 0,
+            nacks: 0,
+        });
+    }
+
+    /// The next active member of the probe round; `None` if there is none.
+    fn next_probe_target(&mut self) -> Option<String> {
+        loop {
+            if let Some(name) = self.probe_round.pop() {
+                if self.members.is_active(&name) {
+                    return Some(name);
+                }
+                continue;
+            }
+            // Every member is probed once a round, in a new random order: this bounds the time until a death is detected.
+            self.probe_round = self.choose_members(usize::MAX, "");
+            if self.probe_round.is_empty() {
+                return None;
+            }
+        }
+    }
+
+    /// Asks helpers to probe the target once the direct answer is overdue.
+    fn request_indirect_probes(&mut self, now: u64, out: &mut Vec<Output>) {
+        let Some(probe) = self
+            .probe
+            .as_mut()
+            .filter(|probe| probe.has_missed_direct_ack(now))
+        else {
+            return;
+        };
+        probe.phase = ProbePhase::AwaitingIndirectAck;
+        let (target, sequence) = (probe.target.clone(), probe.sequence);
+        let request = Body::PingRequest {
+            sequence,
+            target: target.clone(),
+        };
+        let mut helpers = 0;
+        for helper in self.choose_members(self.config.indirect_probes, &target) {
+            if self.send_to_member(now, &helper, Message::new(&request), out) {
+                helpers += 1;
+            }
+        }
+        // Once more directly as well: one lost datagram is more likely than a death.
+        let ping = Body::Ping { sequence };
+        let items = [GossipItem::Member(target.clone())];
+        self.send_to_member(now, &target, Message::new(&ping).with_items(&items), out);
+        if let Some(probe) = &mut self.probe {
+            probe.helpers = helpers;
+        }
+    }
+
+    /// Evaluates a probe that ended; without an acknowledgement the target becomes suspect.
+    fn finish_probe(&mut self, now: u64, probe: &Probe, out: &mut Vec<Output>) {
+        self.local_health_monitor
+            .record_probe(probe.is_acknowledged());
+        if probe.is_acknowledged() {
+            return;
+        }
+        // Why: a front whose own link is bad would suspect everybody. Helpers that send not even a nack show that it is this
+        // front that can't be reached.
+        if probe.nacks < probe.helpers {
+            self.local_health_monitor.worsen();
+        }
+        self.update_local_health(now, out);
+        if self.local_health == LocalHealth::Isolated || self.local_health_monitor.is_isolated(now)
+        {
+            return;
+        }
+        if self.members.is_active(&probe.target) {
+            self.declare(now, &probe.target, MemberState::Suspect, out);
+        }
+    }
+
+    /// Handles an acknowledgement of an own probe, or of one made on behalf of another member.
+    pub(super) fn handle_ack(
+        &mut self,
+        now: u64,
+        from: &str,
+        sequence: u32,
+        out: &mut Vec<Output>,
+    ) {
+        self.forward_ack(now, sequence, out);
+        let Some(probe) = self
+            .probe
+            .as_mut()
+            .filter(|probe| probe.sequence == sequence && !probe.is_acknowledged())
+        else {
+            return;
+        };
+        probe.phase = ProbePhase::Acknowledged;
+        // An answer that came within a stretched timeout does not delay the next probe further.
+        let regular_end = probe.sent_at.saturating_add(self.config.probe_interval);
+        probe.ends_at = probe.ends_at.min(regular_end.max(now));
+        if probe.target == from {
+            let rtt = now.saturating_sub(probe.sent_at);
+            if let Some(record) = self.members.get_mut(from) {
+                record.rtt = Some(rtt);
+            }
+        }
+    }
+
+    /// Handles a helper's answer that the target did not answer it.
+    pub(super) fn handle_nack(&mut self, sequence: u32) {
+        if let Some(probe) = &mut self.probe {
+            if probe.sequence == sequence {
+                probe.nacks += 1;
+            }
+        }
+    }
+}
