Codecs, sockets and configuration: inline tests move to files of their own

Cause: tests stood inside the modules that they test. Change: each moves to src/MODULE/tests.rs, text unchanged but for its indent.

--- /dev/null
+++ b/crates/http/src/orca/tests.rs
@@ -0,0 +1,28 @@
+use super::*;
+
+#[test]
+fn both_forms_say_the_same() {
+    let text = parse("TEXT cpu_utilization=0.3, named_metrics.link_asked=1.25").unwrap();
+    let json =
+        parse(r#"JSON {"cpu_utilization":0.3,"named_metrics":{"link_asked":1.25},"x":"y"}"#)
+            .unwrap();
+    assert_eq!(
+        text,
+        [
+            ("cpu_utilization".into(), 0.3),
+            ("named_metrics.link_asked".into(), 1.25)
+        ]
+    );
+    assert_eq!(text, json);
+    assert_eq!(
+        parse(&write(&[("a", 0.5)])).unwrap(),
+        [("a".to_owned(), 0.5)]
+    );
+}
+
+#[test]
+fn what_is_no_report_is_said() {
+    for text in ["BIN AAAA", "TEXT a", "TEXT a=x", "TEXT a=inf", "JSON {", ""] {
+        assert!(parse(text).is_err(), "{text}");
+    }
+}
--- /dev/null
+++ b/crates/server-protocol/src/sessions/tests.rs
@@ -0,0 +1,49 @@
+use super::*;
+use crankpaddle::LoadField;
+
+fn answer(text: &str) -> SetUpResult {
+    let (response, at) = Response::parse(text.as_bytes()).unwrap().unwrap();
+    set_up_answer(&response, &text.as_bytes()[at..])
+}
+
+#[test]
+fn only_the_servers_own_word_proves_that_nothing_ran() {
+    let full = Problem {
+        kind: FULL.into(),
+        status: 503,
+        ..Problem::default()
+    };
+    let text = String::from_utf8(full.response(&[])).unwrap();
+    assert_eq!(
+        answer(&text),
+        SetUpResult::Ended(AttemptOutcome::Rejected, vec![])
+    );
+    for text in [
+        "HTTP/1.1 503 Service Unavailable\r\n\r\n",
+        "HTTP/1.1 503 x\r\n\r\n{\"type\":\"about:blank\"}",
+        "HTTP/1.1 500 x\r\n\r\n",
+        "HTTP/1.1 404 x\r\n\r\n",
+        "HTTP/1.1 409 x\r\n\r\n",
+        "HTTP/1.1 302 x\r\n\r\n",
+    ] {
+        assert_eq!(
+            answer(text),
+            SetUpResult::Ended(AttemptOutcome::ServerError, vec![]),
+            "{text}"
+        );
+    }
+}
+
+#[test]
+fn reports_come_with_answers_and_bad_ones_count_as_none() {
+    let with = |value: &str| {
+        answer(&format!(
+            "HTTP/1.1 201 Created\r\nEndpoint-Load-Metrics: {value}\r\n\r\n"
+        ))
+    };
+    let report = vec![(LoadField::LinkDemand, 1.5), (LoadField::UplinkDemand, 0.5)];
+    let text =
+        "TEXT cpu_utilization=1, named_metrics.link_asked=1.5, named_metrics.uplink_asked=0.5";
+    assert_eq!(with(text), SetUpResult::Started(report));
+    assert_eq!(with("TEXT nonsense"), SetUpResult::Started(vec![]));
+}
--- /dev/null
+++ b/crates/session-api/src/jsonrpc/tests.rs
@@ -0,0 +1,55 @@
+use super::*;
+
+fn code(member: &Member) -> i64 {
+    member.as_ref().unwrap_err().1.code
+}
+
+/// The examples of the specification, section 7, as far as they concern what a server reads.
+#[test]
+fn the_specifications_examples_are_read_as_it_says() {
+    let Message::One(Ok(call)) =
+        read(r#"{"jsonrpc":"2.0","method":"subtract","params":[42,23],"id":1}"#)
+    else {
+        panic!()
+    };
+    assert_eq!(
+        (call.method.as_str(), call.id),
+        ("subtract", Some(Id(1.into())))
+    );
+    let Message::One(Ok(call)) = read(r#"{"jsonrpc":"2.0","method":"foobar"}"#) else {
+        panic!()
+    };
+    assert_eq!((call.id, call.params), (None, Value::Null));
+    for (text, want) in [
+        (
+            r#"{"jsonrpc":"2.0","method":"foobar,"params":"bar","baz]"#,
+            PARSE_ERROR,
+        ),
+        (
+            r#"{"jsonrpc":"2.0","method":1,"params":"bar"}"#,
+            INVALID_REQUEST,
+        ),
+        (
+            r#"[{"jsonrpc":"2.0","method":"sum","id":"1"},{"jsonrpc":"2.0","method"]"#,
+            PARSE_ERROR,
+        ),
+        ("[]", INVALID_REQUEST),
+        ("1", INVALID_REQUEST),
+        (r#"{"jsonrpc":"1.0","method":"a","id":1}"#, INVALID_REQUEST),
+        (r#"{"jsonrpc":"2.0","method":"a","id":{}}"#, INVALID_REQUEST),
+    ] {
+        let Message::One(member) = read(text) else {
+            panic!("{text}")
+        };
+        assert_eq!(code(&member), want, "{text}");
+    }
+    let Message::Batch(members) = read("[1,2,3]") else {
+        panic!()
+    };
+    assert!(members.len() == 3 && members.iter().all(|m| code(m) == INVALID_REQUEST));
+    let null = read(r#"{"jsonrpc":"2.0","method":"a","id":null}"#);
+    assert!(
+        matches!(null, Message::One(Ok(Call { id: Some(_), .. }))),
+        "a null id is an id, if a poor one"
+    );
+}
