Server protocol: typed errors, field names of the domain, steps in place of long functions

Cause: results with String errors, a report parser and an event reader that did several things at once, names of the house. The tests keep their literals; one compares the value in place of the Result, as the error holds its source.

--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -26,7 +26,7 @@
             Ok(held) => Ok(Some(held)),
             // A broken copy must not keep a front from starting: the service will tell.
             Err(what) => {
-                tracing::warn!(path = %path.display(), what, "the cached list is not used");
+                tracing::warn!(path = %path.display(), what = what.to_string(), "the cached list is not used");
                 Ok(None)
             }
         },
--- a/crates/daemon/src/event_loop/servers.rs
+++ b/crates/daemon/src/event_loop/servers.rs
@@ -136,7 +136,7 @@
     }
 
     pub(super) fn list(&mut self, kind: EndpointListKind, list: &EndpointListBody) {
-        if !self.held.take(kind, list) {
+        if !self.held.apply(kind, list) {
             return;
         }
         self.cache.keep(self.held.text());
@@ -153,7 +153,7 @@
     pub(super) fn listings(&self, entries: &[list::EndpointEntry]) -> Vec<Endpoint> {
         let config = &self.shared.config;
         let read = |entry: &list::EndpointEntry| {
-            let listing = list::listing(entry, &config.zones, &config.kinds);
+            let listing = entry.to_endpoint(&config.zones, &config.kinds);
             if listing.is_none() {
                 tracing::warn!(
                     server = entry.id,
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -178,15 +178,22 @@
         loop {
             match events.next() {
                 Ok(event) => match event_stream::read(&event) {
-                    Ok(Some(ServerEvent::Hello(hello))) => {
+                    Ok(Some(ServerEvent::StreamStart(hello))) => {
                         shared.tell(Msg::Hello(self.id, hello, begun));
                         reach.heard(clock::now());
                         spoke = true;
                     }
-                    Ok(Some(ServerEvent::Notes(name, notes))) => {
+                    Ok(Some(ServerEvent::SessionUpdates {
+                        session: name,
+                        updates: notes,
+                    })) => {
                         shared.tell(Msg::Notes(name, notes));
                     }
-                    Ok(Some(ServerEvent::Over(name, outcome, sent))) => {
+                    Ok(Some(ServerEvent::SessionOver {
+                        session: name,
+                        outcome,
+                        sent_bytes: sent,
+                    })) => {
                         shared.tell(Msg::Over(name, outcome, sent));
                     }
                     Ok(Some(ServerEvent::Traffic(traffic))) => {
--- a/crates/server-protocol/src/list.rs
+++ b/crates/server-protocol/src/list.rs
@@ -1,19 +1,26 @@
-//! The list of servers.
+//! The endpoint list: the servers that the list service knows.
+use crate::ProtocolError;
 use crankpaddle_front::{Endpoint, EndpointListKind, Lifecycle, ServerId, Time};
 use crankpaddle_http::head;
 use crankpaddle_http::sse::{self, Event};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
+/// Event type of a full list.
+const FULL_EVENT: &str = "full";
+/// Event type of a list that holds only what changed.
+const DELTA_EVENT: &str = "delta";
+const NANOSECONDS_PER_MILLISECOND: u64 = 1_000_000;
+
 /// State of a server on the wire.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum EndpointState {
-    /// Runs.
+    /// Takes sessions.
     Ready,
-    /// Ends its work.
+    /// Completes its sessions and takes no new ones.
     Draining,
-    /// Is no more; stands in changes only.
+    /// Removed; appears in deltas only.
     Gone,
 }
 
@@ -30,55 +37,76 @@
     pub cell: u16,
     /// Its state.
     pub state: EndpointState,
-    /// Its size against other servers.
+    /// Its size relative to other servers.
     pub weight: f64,
-    /// Its last start, milliseconds of Unix time; 0: long past.
+    /// Its last start in milliseconds of Unix time; 0: long ago.
     #[serde(default)]
     pub started_ms: u64,
-    /// Where it takes set-ups and gives media.
+    /// Address for set-ups and media.
     pub address: SocketAddr,
 }
 
-/// A list, whole or only what changed.
+impl EndpointEntry {
+    /// The entry in the core's terms, with zone and kind as indices into the given names; `None` where a name is
+    /// unknown here.
+    #[must_use]
+    pub fn to_endpoint(&self, zones: &[String], kinds: &[String]) -> Option<Endpoint> {
+        let index = |names: &[String], name: &str| names.iter().position(|known| known == name);
+        let started_at = self.started_ms.saturating_mul(NANOSECONDS_PER_MILLISECOND);
+        Some(Endpoint {
+            server: ServerId(self.id),
+            zone: index(zones, &self.zone)? as u8,
+            kind: index(kinds, &self.kind)? as u16,
+            cell: self.cell,
+            lifecycle: match self.state {
+                EndpointState::Ready => Lifecycle::Ready,
+                EndpointState::Draining => Lifecycle::Draining,
+                EndpointState::Gone => Lifecycle::Removed,
+            },
+            weight: self.weight,
+            started_at: Time(started_at),
+        })
+    }
+}
+
+/// An endpoint list, full or a delta.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct EndpointListBody {
-    /// Its version.
+    /// Its version; rises with every change.
     pub serial: u64,
     /// Its entries.
     pub servers: Vec<EndpointEntry>,
 }
 
-/// A request of a front for all lists from now on: one whole, then changes.
+/// A front's request for the list stream: one full list, then deltas.
+#[must_use]
 pub fn subscribe(host: &str, front: &str) -> Vec<u8> {
-    head::request(
-        "GET",
-        &format!("/servers/events?front={front}"),
-        host,
-        &[("accept", "text/event-stream"), ("connection", "close")],
-        b"",
-    )
+    let target = format!("/servers/events?front={front}");
+    let fields = [("accept", "text/event-stream"), ("connection", "close")];
+    head::request("GET", &target, host, &fields, b"")
 }
 
-/// Reads an event of the stream; `None` for a kind that is not known.
+/// Reads an event of the stream; `None` for an unknown type.
 ///
 /// # Errors
-/// Its data is malformed.
-pub fn read(event: &Event) -> Result<Option<(EndpointListKind, EndpointListBody)>, String> {
+/// [`ProtocolError::EndpointList`]: its data is malformed.
+pub fn read(event: &Event) -> Result<Option<(EndpointListKind, EndpointListBody)>, ProtocolError> {
     let kind = match event.name.as_str() {
-        "full" => EndpointListKind::Full,
-        "delta" => EndpointListKind::Delta,
+        FULL_EVENT => EndpointListKind::Full,
+        DELTA_EVENT => EndpointListKind::Delta,
         _ => return Ok(None),
     };
-    let list = serde_json::from_str(&event.data).map_err(|e| format!("list: {e}"))?;
+    let list = serde_json::from_str(&event.data).map_err(ProtocolError::EndpointList)?;
     Ok(Some((kind, list)))
 }
 
 /// The bytes of an event.
+#[must_use]
 pub fn write(kind: EndpointListKind, list: &EndpointListBody) -> Vec<u8> {
     let name = if kind == EndpointListKind::Delta {
-        "delta"
+        DELTA_EVENT
     } else {
-        "full"
+        FULL_EVENT
     };
     sse::write(
         name,
@@ -87,75 +115,65 @@
     )
 }
 
-/// What a front holds of the list, so that a whole one can be kept on disk and the addresses are known.
+/// A front's copy of the endpoint list: deltas applied, so that the full list can be persisted and addresses looked up.
 #[derive(Clone, Debug, Default)]
 pub struct CachedEndpoints {
     list: EndpointListBody,
 }
 
 impl CachedEndpoints {
-    /// From a file that [`CachedEndpoints::text`] wrote.
+    /// Reads what [`CachedEndpoints::text`] wrote.
     ///
     /// # Errors
-    /// It is malformed.
-    pub fn from_text(text: &str) -> Result<CachedEndpoints, String> {
-        serde_json::from_str(text)
-            .map(|list| CachedEndpoints { list })
-            .map_err(|e| format!("cached list: {e}"))
+    /// [`ProtocolError::CachedEndpoints`]: it is malformed.
+    pub fn from_text(text: &str) -> Result<CachedEndpoints, ProtocolError> {
+        let list = serde_json::from_str(text).map_err(ProtocolError::CachedEndpoints)?;
+        Ok(CachedEndpoints { list })
     }
 
-    /// The whole list as it is now.
+    /// The full list as it is now, as JSON.
+    #[must_use]
     pub fn text(&self) -> String {
         serde_json::to_string(&self.list).unwrap_or_default()
     }
 
-    /// Whether anything was ever heard.
+    /// Whether it holds no server.
+    #[must_use]
     pub fn is_empty(&self) -> bool {
         self.list.servers.is_empty()
     }
 
-    /// Takes a list in. A change whose version is not newer than what is held says nothing new and is dropped.
-    pub fn take(&mut self, kind: EndpointListKind, list: &EndpointListBody) -> bool {
-        if kind == EndpointListKind::Delta {
-            if list.serial <= self.list.serial {
-                return false;
-            }
-            for entry in &list.servers {
-                self.list.servers.retain(|e| e.id != entry.id);
-                self.list
-                    .servers
-                    .extend((entry.state != EndpointState::Gone).then(|| entry.clone()));
-            }
-            self.list.serial = list.serial;
-        } else {
+    /// Applies a received list; true if it was applied. A delta whose version is not newer than the cached one is
+    /// stale and dropped.
+    pub fn apply(&mut self, kind: EndpointListKind, list: &EndpointListBody) -> bool {
+        if kind != EndpointListKind::Delta {
             self.list = list.clone();
+            return true;
+        }
+        if list.serial <= self.list.serial {
+            return false;
         }
+        for entry in &list.servers {
+            self.replace(entry);
+        }
+        self.list.serial = list.serial;
         true
     }
 
-    /// The servers that are held.
+    /// Replaces the entry with the same id, or removes it where the server is gone.
+    fn replace(&mut self, entry: &EndpointEntry) {
+        self.list.servers.retain(|cached| cached.id != entry.id);
+        if entry.state != EndpointState::Gone {
+            self.list.servers.push(entry.clone());
+        }
+    }
+
+    /// The cached servers.
+    #[must_use]
     pub fn servers(&self) -> &[EndpointEntry] {
         &self.list.servers
     }
 }
 
-/// An entry in the module's terms; `None` where its zone or kind has no number here.
-pub fn listing(entry: &EndpointEntry, zones: &[String], kinds: &[String]) -> Option<Endpoint> {
-    let number = |names: &[String], name: &str| names.iter().position(|n| n == name);
-    Some(Endpoint {
-        server: ServerId(entry.id),
-        zone: number(zones, &entry.zone)? as u8,
-        kind: number(kinds, &entry.kind)? as u16,
-        cell: entry.cell,
-        lifecycle: match entry.state {
-            EndpointState::Ready => Lifecycle::Ready,
-            EndpointState::Draining => Lifecycle::Draining,
-            EndpointState::Gone => Lifecycle::Removed,
-        },
-        weight: entry.weight,
-        started_at: Time(entry.started_ms.saturating_mul(1_000_000)),
-    })
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/server-protocol/src/list/tests.rs
+++ b/crates/server-protocol/src/list/tests.rs
@@ -14,15 +14,15 @@
     }
 }
 
-fn ids(held: &CachedEndpoints) -> Vec<u32> {
-    held.servers().iter().map(|e| e.id).collect()
+fn ids(cached: &CachedEndpoints) -> Vec<u32> {
+    cached.servers().iter().map(|e| e.id).collect()
 }
 
 #[test]
-fn changes_apply_in_order_and_old_ones_are_dropped() {
-    let mut held = CachedEndpoints::default();
+fn deltas_apply_in_order_and_stale_ones_are_dropped() {
+    let mut cached = CachedEndpoints::default();
     let list = |serial, servers| EndpointListBody { serial, servers };
-    assert!(held.take(
+    assert!(cached.apply(
         EndpointListKind::Full,
         &list(
             3,
@@ -32,7 +32,7 @@
             ]
         )
     ));
-    assert!(held.take(
+    assert!(cached.apply(
         EndpointListKind::Delta,
         &list(
             4,
@@ -42,18 +42,18 @@
             ]
         )
     ));
-    assert!(!held.take(
+    assert!(!cached.apply(
         EndpointListKind::Delta,
         &list(4, vec![entry(2, EndpointState::Gone)])
     ));
-    assert_eq!(ids(&held), [2, 3]);
-    let again = CachedEndpoints::from_text(&held.text()).unwrap();
-    assert_eq!(again.servers(), held.servers());
+    assert_eq!(ids(&cached), [2, 3]);
+    let again = CachedEndpoints::from_text(&cached.text()).unwrap();
+    assert_eq!(again.servers(), cached.servers());
     assert!(CachedEndpoints::from_text("{").is_err());
 }
 
 #[test]
-fn what_is_written_is_read_and_unknown_names_are_not_guessed() {
+fn written_lists_are_read_back_and_unknown_names_are_rejected() {
     let list = EndpointListBody {
         serial: 9,
         servers: vec![entry(4, EndpointState::Draining)],
@@ -63,14 +63,18 @@
         .feed(&write(EndpointListKind::Delta, &list), &mut events)
         .unwrap();
     assert_eq!(
-        read(&events[0]),
-        Ok(Some((EndpointListKind::Delta, list.clone())))
+        read(&events[0]).unwrap(),
+        Some((EndpointListKind::Delta, list.clone()))
     );
     let names = |n: &str| vec![n.to_owned()];
-    let known = listing(&list.servers[0], &names("n"), &names("std")).unwrap();
+    let known = list.servers[0]
+        .to_endpoint(&names("n"), &names("std"))
+        .unwrap();
     assert_eq!(
         (known.lifecycle, known.started_at),
         (Lifecycle::Draining, Time(5_000_000))
     );
-    assert!(listing(&list.servers[0], &names("m"), &names("std")).is_none());
+    assert!(list.servers[0]
+        .to_endpoint(&names("m"), &names("std"))
+        .is_none());
 }
--- a/crates/server-protocol/src/session_inventory.rs
+++ b/crates/server-protocol/src/session_inventory.rs
@@ -1,14 +1,15 @@
-//! A server's book on one front: which of its sessions it holds, and which paid ones it ran.
+//! A server's inventory of one front's sessions: which it holds, and which paid ones it has run.
+use crate::ProtocolError;
 use crankpaddle_http::head;
 use crankpaddle_recovery::{reconciliation, Key};
 use serde::{Deserialize, Serialize};
 
-/// A session that is held.
+/// A session that the server holds.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct InventorySession {
-    /// Its name.
+    /// The session's name.
     pub session: String,
-    /// What it is billed under.
+    /// Its billing key.
     pub bill: String,
     /// Tenant by name; empty where there are none.
     #[serde(default, skip_serializing_if = "String::is_empty")]
@@ -21,77 +22,84 @@
     pub rung: u8,
 }
 
-/// A paid session that ran, held or not.
+impl From<InventorySession> for reconciliation::InventorySession {
+    fn from(session: InventorySession) -> reconciliation::InventorySession {
+        reconciliation::InventorySession {
+            name: session.session,
+            key: Key {
+                tenant: session.tenant,
+                bill: session.bill,
+            },
+            class: session.class,
+            title: session.title,
+            rung: session.rung,
+        }
+    }
+}
+
+/// A paid session that has run, whether the server still holds it or not.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct CompletedSession {
-    /// What it was billed under.
+    /// Its billing key.
     pub bill: String,
     /// Tenant by name; empty where there are none.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub tenant: String,
 }
 
-/// The book.
+impl From<CompletedSession> for Key {
+    fn from(session: CompletedSession) -> Key {
+        Key {
+            tenant: session.tenant,
+            bill: session.bill,
+        }
+    }
+}
+
+/// The inventory.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct SessionInventory {
-    /// Lives of the server that it reaches over without a gap, the present one last.
+    /// Incarnations of the server that the inventory covers without a gap, the current one last.
     pub boots: Vec<String>,
-    /// How long the present life lasts, milliseconds. Told as an age, so that no two clocks are compared.
+    /// Age of the current incarnation in milliseconds: an age, so that no two clocks are compared.
     pub age_ms: u64,
-    /// Sessions of the front that it holds.
-    #[serde(default)]
-    pub held: Vec<InventorySession>,
-    /// Names of the front's set-ups that it works on.
-    #[serde(default)]
-    pub under_way: Vec<String>,
-    /// Paid sessions of the front that ran.
-    #[serde(default)]
-    pub ran: Vec<CompletedSession>,
+    /// The front's sessions that it holds. (`held` in docs/server-protocol.md.)
+    #[serde(default, rename = "held")]
+    pub sessions: Vec<InventorySession>,
+    /// Names of the front's set-ups in progress. (`under_way` in docs/server-protocol.md.)
+    #[serde(default, rename = "under_way")]
+    pub in_progress: Vec<String>,
+    /// The front's paid sessions that have run. (`ran` in docs/server-protocol.md.)
+    #[serde(default, rename = "ran")]
+    pub completed: Vec<CompletedSession>,
 }
 
 impl SessionInventory {
-    /// In the terms of recovery.
+    /// The inventory in the terms of recovery.
+    #[must_use]
     pub fn into_recovery(self) -> reconciliation::SessionInventory {
-        let held = |h: InventorySession| reconciliation::InventorySession {
-            name: h.session,
-            key: Key {
-                tenant: h.tenant,
-                bill: h.bill,
-            },
-            class: h.class,
-            title: h.title,
-            rung: h.rung,
-        };
-        let ran = |r: CompletedSession| Key {
-            tenant: r.tenant,
-            bill: r.bill,
-        };
         reconciliation::SessionInventory {
             incarnations: self.boots,
-            sessions: self.held.into_iter().map(held).collect(),
-            in_progress: self.under_way,
-            completed: self.ran.into_iter().map(ran).collect(),
+            sessions: self.sessions.into_iter().map(Into::into).collect(),
+            in_progress: self.in_progress,
+            completed: self.completed.into_iter().map(Key::from).collect(),
         }
     }
 }
 
-/// A request for a server's book on a front.
+/// A request for a server's inventory of a front.
+#[must_use]
 pub fn request(host: &str, front: &str) -> Vec<u8> {
-    head::request(
-        "GET",
-        &format!("/sessions?front={front}"),
-        host,
-        &[("accept", "application/json")],
-        b"",
-    )
+    let target = format!("/sessions?front={front}");
+    head::request("GET", &target, host, &[("accept", "application/json")], b"")
 }
 
-/// Reads an answer's body.
+/// Reads the body of the response.
 ///
 /// # Errors
-/// It is no book.
-pub fn read(body: &[u8]) -> Result<SessionInventory, serde_json::Error> {
-    serde_json::from_slice(body)
+/// [`ProtocolError::SessionInventory`]: it is malformed.
+pub fn read(body: &[u8]) -> Result<SessionInventory, ProtocolError> {
+    serde_json::from_slice(body).map_err(ProtocolError::SessionInventory)
 }
 
 #[cfg(test)]
--- a/crates/server-protocol/src/sessions/tests.rs
+++ b/crates/server-protocol/src/sessions/tests.rs
@@ -1,5 +1,4 @@
 use super::*;
-use crankpaddle::LoadField;
 
 fn answer(text: &str) -> SetUpResult {
     let (response, at) = Response::parse(text.as_bytes()).unwrap().unwrap();
@@ -7,7 +6,7 @@
 }
 
 #[test]
-fn only_the_servers_own_word_proves_that_nothing_ran() {
+fn only_the_full_problem_proves_that_nothing_ran() {
     let full = Problem {
         kind: FULL.into(),
         status: 503,
@@ -35,8 +34,8 @@
 }
 
 #[test]
-fn reports_come_with_answers_and_bad_ones_count_as_none() {
-    let with = |value: &str| {
+fn load_reports_come_with_responses_and_malformed_ones_are_empty() {
+    let answer_with = |value: &str| {
         answer(&format!(
             "HTTP/1.1 201 Created\r\nEndpoint-Load-Metrics: {value}\r\n\r\n"
         ))
@@ -44,6 +43,6 @@
     let report = vec![(LoadField::LinkDemand, 1.5), (LoadField::UplinkDemand, 0.5)];
     let text =
         "TEXT cpu_utilization=1, named_metrics.link_asked=1.5, named_metrics.uplink_asked=0.5";
-    assert_eq!(with(text), SetUpResult::Started(report));
-    assert_eq!(with("TEXT nonsense"), SetUpResult::Started(vec![]));
+    assert_eq!(answer_with(text), SetUpResult::Started(report));
+    assert_eq!(answer_with("TEXT nonsense"), SetUpResult::Started(vec![]));
 }
--- a/crates/testbed/src/setup_log.rs
+++ b/crates/testbed/src/setup_log.rs
@@ -54,9 +54,9 @@
         SessionInventory {
             boots: self.boots.clone(),
             age_ms,
-            held,
-            under_way,
-            ran: self.ran.get(front).cloned().unwrap_or_default(),
+            sessions: held,
+            in_progress: under_way,
+            completed: self.ran.get(front).cloned().unwrap_or_default(),
         }
     }
 }
