Session API: typed client error, messages parsed in steps, calls and reasons in the core's terms

Change: ClientError (thiserror) with the same texts; parse_notification, parse_error and parse_result; the methods' checks are functions of their own; give() is answer_directly(), notice() of the pending calls is notify(), MOST is MAX_SAFE_INTEGER; variants of the reasons carry the core's terms and are renamed by serde for the wire, so that the published descriptions stay. One long test is four, with the same literals; results are compared by value, as the error is not comparable.

--- a/crates/daemon/src/player.rs
+++ b/crates/daemon/src/player.rs
@@ -45,7 +45,7 @@
     pub(crate) fn notify(&self, session: RequestId, notice: Value) {
         let mut calls = self.calls();
         calls
-            .notice(session.0, notice)
+            .notify(session.0, notice)
             .iter()
             .for_each(|value| self.tell(value));
     }
--- a/crates/daemon/src/players.rs
+++ b/crates/daemon/src/players.rs
@@ -476,7 +476,7 @@
             }
             Err((Some(id), error)) => {
                 let mut calls = player.calls();
-                let out = calls.give(batch, None, jsonrpc::error(&id, &error));
+                let out = calls.answer_directly(batch, None, jsonrpc::error(&id, &error));
                 out.iter().for_each(|value| player.tell(value));
             }
             Err((None, _)) => {} // A notification gets no answer, not even an error.
--- a/crates/server-protocol/src/session_inventory/tests.rs
+++ b/crates/server-protocol/src/session_inventory/tests.rs
@@ -15,6 +15,6 @@
     );
     assert!(
         read(br#"{"age_ms":1,"held":[]}"#).is_err(),
-        "without incarnations it proves nothing"
+        "without its lives it proves nothing"
     );
 }
--- a/crates/session-api/src/answers.rs
+++ b/crates/session-api/src/answers.rs
@@ -1,4 +1,4 @@
-//! What a front answers and tells.
+//! The messages that a front sends: results, errors and notifications.
 use crate::jsonrpc::{self, Error, Id};
 use crate::messages::{
     Closed, EndReason, Ended, Failed, FailedReason, Moved, Opened, Refused, RefusedReason,
@@ -12,113 +12,117 @@
 use serde::Serialize;
 use serde_json::Value;
 
-/// Refused: nothing of it ran, it may be sent again anywhere.
+/// Error code: rejected. None of it ran; the request may be retried at any front. (The API's documents call it
+/// refused.)
 pub const REFUSED: i64 = -32001;
-/// Failed: an attempt may have run.
+/// Error code: failed. An attempt may have run.
 pub const FAILED: i64 = -32002;
-/// Another connection took the session up.
+/// Error code: another connection resumed the session.
 pub const SUPERSEDED: i64 = -32003;
-/// No such session, or not this connection's.
+/// Error code: no such session, or not one of this connection.
 pub const UNKNOWN_SESSION: i64 = -32004;
 
-/// A refusal's reason on the wire. A version that does not know a reason is told the nearest that it knows.
-fn refusal(why: RejectReason, version: Version) -> RefusedReason {
-    match (why, version) {
-        (RejectReason::CrossZoneForbidden, Version::V2) => RefusedReason::HeldAtHome,
-        (RejectReason::NoCapacity | RejectReason::CrossZoneForbidden, _) => RefusedReason::NoRoom,
+const NANOSECONDS_PER_MILLISECOND: u64 = 1_000_000;
+
+/// The reason on the wire. A version that lacks a reason gets the nearest that it has.
+fn refused_reason(reason: RejectReason, version: Version) -> RefusedReason {
+    match (reason, version) {
+        (RejectReason::CrossZoneForbidden, Version::V2) => RefusedReason::CrossZoneForbidden,
+        (RejectReason::NoCapacity | RejectReason::CrossZoneForbidden, _) => {
+            RefusedReason::NoCapacity
+        }
         (RejectReason::Overload | RejectReason::Recovering, _) => RefusedReason::Overload,
-        (RejectReason::TooManyPending, _) => RefusedReason::TooManyOpen,
-        (RejectReason::ShuttingDown, _) => RefusedReason::Stopping,
+        (RejectReason::TooManyPending, _) => RefusedReason::TooManyPending,
+        (RejectReason::ShuttingDown, _) => RefusedReason::ShuttingDown,
     }
 }
 
-fn failure(why: FailureReason) -> FailedReason {
-    match why {
+fn failed_reason(reason: FailureReason) -> FailedReason {
+    match reason {
         FailureReason::NoAnswer => FailedReason::NoAnswer,
         FailureReason::ServerError => FailedReason::ServerError,
-        FailureReason::ConnectionLost => FailedReason::Broken,
-        FailureReason::Cancelled => FailedReason::Withdrawn,
+        FailureReason::ConnectionLost => FailedReason::ConnectionLost,
+        FailureReason::Cancelled => FailedReason::Cancelled,
         FailureReason::KeySpent => FailedReason::KeySpent,
     }
 }
 
-fn over(why: SessionEndReason) -> EndReason {
-    match why {
+fn end_reason(reason: SessionEndReason) -> EndReason {
+    match reason {
         SessionEndReason::Finished => EndReason::Finished,
         SessionEndReason::ServerLost => EndReason::ServerLost,
-        SessionEndReason::Superseded => EndReason::TakenOver,
-        SessionEndReason::ShuttingDown => EndReason::Stopping,
+        SessionEndReason::Superseded => EndReason::Superseded,
+        SessionEndReason::ShuttingDown => EndReason::ShuttingDown,
     }
 }
 
-/// Milliseconds on the wire; none where there is no advice.
-fn advice(nanoseconds: u64) -> Option<u64> {
-    (nanoseconds > 0).then(|| nanoseconds.div_ceil(1_000_000))
+/// Retry-After in milliseconds, rounded up; `None` where the front gives no advice.
+fn retry_after_ms(nanoseconds: u64) -> Option<u64> {
+    (nanoseconds > 0).then(|| nanoseconds.div_ceil(NANOSECONDS_PER_MILLISECOND))
 }
 
-fn value(of: impl Serialize) -> Value {
-    serde_json::to_value(of).unwrap_or_default()
+fn to_json(message: impl Serialize) -> Value {
+    serde_json::to_value(message).unwrap_or_default()
+}
+
+fn error(id: &Id, code: i64, message: &str, data: Option<Value>) -> Value {
+    let error = Error {
+        code,
+        message: message.to_owned(),
+        data,
+    };
+    jsonrpc::error(id, &error)
 }
 
-/// The answer to a call; `media` and `hall` are where a session that plays is fetched from.
-pub fn answer(version: Version, id: &Id, answer: &Answer, media: &str, hall: &str) -> Value {
-    let (code, message, data) = match answer {
+/// The answer to a call. `media` is where an established session is fetched from, `zone` the zone that serves it; other
+/// answers use neither.
+#[must_use]
+pub fn answer(version: Version, id: &Id, answer: &Answer, media: &str, zone: &str) -> Value {
+    match answer {
         Answer::Established { session, rung, .. } => {
-            let hall = (version == Version::V2).then(|| hall.to_owned());
-            let (session, media) = (session_name(session.0), media.to_owned());
-            return jsonrpc::result(
-                id,
-                value(Opened {
-                    session,
-                    media,
-                    rung: *rung,
-                    hall,
-                }),
-            );
+            let opened = Opened {
+                session: session_name(session.0),
+                media: media.to_owned(),
+                rung: *rung,
+                hall: (version == Version::V2).then(|| zone.to_owned()),
+            };
+            jsonrpc::result(id, to_json(opened))
         }
-        Answer::Closed => return jsonrpc::result(id, value(Closed { closed: true })),
-        Answer::Rejected(why, stay_away) => {
+        Answer::Closed => jsonrpc::result(id, to_json(Closed { closed: true })),
+        Answer::Rejected(reason, retry_after) => {
             let refused = Refused {
-                reason: refusal(*why, version),
-                retry_after_ms: advice(*stay_away),
+                reason: refused_reason(*reason, version),
+                retry_after_ms: retry_after_ms(*retry_after),
             };
-            (REFUSED, "refused", Some(value(refused)))
+            error(id, REFUSED, "refused", Some(to_json(refused)))
         }
-        Answer::Failed(why) => (
-            FAILED,
-            "failed",
-            Some(value(Failed {
-                reason: failure(*why),
-            })),
-        ),
-        Answer::Superseded => (SUPERSEDED, "taken up by another connection", None),
-        Answer::UnknownSession => (UNKNOWN_SESSION, "no such session", None),
-    };
-    jsonrpc::error(
-        id,
-        &Error {
-            code,
-            message: message.into(),
-            data,
-        },
-    )
+        Answer::Failed(reason) => {
+            let failed = Failed {
+                reason: failed_reason(*reason),
+            };
+            error(id, FAILED, "failed", Some(to_json(failed)))
+        }
+        Answer::Superseded => error(id, SUPERSEDED, "taken up by another connection", None),
+        Answer::UnknownSession => error(id, UNKNOWN_SESSION, "no such session", None),
+    }
 }
 
-/// What a player is told.
+/// A notification to the player of a session.
+#[must_use]
 pub fn notice(session: RequestId, notice: Notification) -> Value {
     let session = session_name(session.0);
     match notice {
         Notification::RungChanged(rung) => {
-            jsonrpc::notification("session.rung", value(RungChanged { session, rung }))
+            jsonrpc::notification("session.rung", to_json(RungChanged { session, rung }))
         }
-        Notification::SessionEnded(why, stay_away) => {
+        Notification::SessionEnded(reason, retry_after) => {
             let ended = Ended {
                 session,
-                reason: over(why),
-                retry_after_ms: advice(stay_away),
+                reason: end_reason(reason),
+                retry_after_ms: retry_after_ms(retry_after),
             };
-            jsonrpc::notification("session.end", value(ended))
+            jsonrpc::notification("session.end", to_json(ended))
         }
-        Notification::Migrate => jsonrpc::notification("session.move", value(Moved { session })),
+        Notification::Migrate => jsonrpc::notification("session.move", to_json(Moved { session })),
     }
 }
--- a/crates/session-api/src/calls.rs
+++ b/crates/session-api/src/calls.rs
@@ -1,106 +1,129 @@
-//! The calls of one connection that wait for their answers, and the order of what goes out. Pure.
+//! Pending calls of one connection, and the order of outgoing messages. Pure.
 //!
-//! Answers of a batch go back together, so one that is ready waits for the others. Danger: a notice of a session that
-//! overtakes its own answer in a batch speaks of a session that the player does not know yet; a client that drops it
-//! shows the wrong rung, or waits for a session that has ended. So notices of a session are held until the batch that
-//! answers it has gone out. Harm: such a notice is as late as the slowest member of its batch, which is bounded by the
-//! most impatient viewer in it.
+//! The answers of a batch go out together, so an answer that is ready waits for the others of its batch.
+//!
+//! Invariant: a notification about a session never overtakes the answer that makes the session known. A client that
+//! received it first would drop it, and show the wrong rung or wait for a session that has ended. So notifications of
+//! a session are deferred until the batch with its answer has gone out. The cost: such a notification is as late as
+//! the slowest member of its batch, which is bounded by the shortest wait among its viewers.
 use crate::jsonrpc::Id;
 use serde_json::Value;
 use std::collections::BTreeMap;
 
-/// A batch whose answers are collected.
+/// A batch whose answers are being collected.
 #[derive(Clone, Debug)]
 struct Batch {
     answers: Vec<Value>,
-    owed: usize,
-    sessions: Vec<u64>, // That its answers so far tell of.
-    held: Vec<Value>,   // Notices that wait behind it.
+    /// How many members get an answer.
+    expected_answers: usize,
+    /// Sessions that its answers so far make known.
+    sessions: Vec<u64>,
+    /// Notifications that go out behind its answers.
+    deferred: Vec<Value>,
+}
+
+impl Batch {
+    fn new(expected_answers: usize) -> Batch {
+        Batch {
+            answers: Vec::new(),
+            expected_answers,
+            sessions: Vec::new(),
+            deferred: Vec::new(),
+        }
+    }
+
+    fn is_complete(&self) -> bool {
+        self.answers.len() >= self.expected_answers
+    }
+
+    /// Its answers as one message, then the deferred notifications.
+    fn into_messages(self) -> Vec<Value> {
+        let mut messages = vec![Value::Array(self.answers)];
+        messages.extend(self.deferred);
+        messages
+    }
 }
 
-/// A call that waits.
+/// A call without an answer yet.
 #[derive(Clone, Debug)]
-struct Waiting {
+struct PendingCall {
     number: u64,
     id: Id,
     batch: Option<u64>,
 }
 
-/// The calls of one connection. Numbers of calls and batches are the connection's own and never used twice.
+/// The pending calls of one connection. Numbers of calls and batches are the connection's own and never used twice.
 #[derive(Clone, Debug, Default)]
 pub struct Calls {
-    waiting: Vec<Waiting>,
+    pending: Vec<PendingCall>,
     batches: BTreeMap<u64, Batch>,
 }
 
 impl Calls {
-    /// A batch begins; `owed` of its members want an answer. One that owes none is no batch to wait for.
-    pub fn begin(&mut self, batch: u64, owed: usize) {
-        if owed > 0 {
-            let empty = Batch {
-                answers: Vec::new(),
-                owed,
-                sessions: Vec::new(),
-                held: Vec::new(),
-            };
-            self.batches.insert(batch, empty);
+    /// Begins a batch of which `expected_answers` members get an answer. One without any is not tracked.
+    pub fn begin(&mut self, batch: u64, expected_answers: usize) {
+        if expected_answers > 0 {
+            self.batches.insert(batch, Batch::new(expected_answers));
         }
     }
 
-    /// A call waits for its answer from now on.
+    /// Adds a call that is answered later.
     pub fn wait(&mut self, number: u64, id: Id, batch: Option<u64>) {
-        self.waiting.push(Waiting { number, id, batch });
+        self.pending.push(PendingCall { number, id, batch });
     }
 
-    /// The answer to a call that waits; gives what goes out now, in order. A call that does not wait is ignored.
-    /// `session` is what the answer tells of, if it makes one known.
+    /// Answers a pending call; returns the messages that go out now, in order. Ignores a call that is not pending.
+    /// `session` is the session that the answer makes known, if any.
     pub fn answer(
         &mut self,
         number: u64,
         session: Option<u64>,
-        with: impl FnOnce(&Id) -> Value,
+        make_answer: impl FnOnce(&Id) -> Value,
     ) -> Vec<Value> {
-        let Some(at) = self.waiting.iter().position(|w| w.number == number) else {
+        let Some(index) = self.pending.iter().position(|call| call.number == number) else {
             return Vec::new();
         };
-        let waiting = self.waiting.swap_remove(at);
-        if self.waiting.is_empty() {
-            self.waiting = Vec::new(); // An idle connection keeps nothing.
+        let call = self.pending.swap_remove(index);
+        if self.pending.is_empty() {
+            self.pending = Vec::new(); // An idle connection holds no memory for calls.
         }
-        self.give(waiting.batch, session, with(&waiting.id))
+        self.answer_directly(call.batch, session, make_answer(&call.id))
     }
 
-    /// An answer to a member that never came to wait; gives what goes out now.
-    pub fn give(&mut self, batch: Option<u64>, session: Option<u64>, answer: Value) -> Vec<Value> {
-        let Some((number, of)) = batch.and_then(|n| Some((n, self.batches.get_mut(&n)?))) else {
+    /// Answers a call that was never pending; returns the messages that go out now, in order.
+    pub fn answer_directly(
+        &mut self,
+        batch: Option<u64>,
+        session: Option<u64>,
+        answer: Value,
+    ) -> Vec<Value> {
+        let Some(batch_number) = batch else {
             return vec![answer];
         };
-        of.answers.push(answer);
-        of.sessions.extend(session);
-        if of.answers.len() < of.owed {
+        let Some(batch) = self.batches.get_mut(&batch_number) else {
+            return vec![answer];
+        };
+        batch.answers.push(answer);
+        batch.sessions.extend(session);
+        if !batch.is_complete() {
             return Vec::new();
         }
-        let done = self.batches.remove(&number);
-        done.map_or_else(Vec::new, |b| {
-            std::iter::once(Value::Array(b.answers))
-                .chain(b.held)
-                .collect::<Vec<_>>()
-        })
+        let complete = self.batches.remove(&batch_number);
+        complete.map_or_else(Vec::new, Batch::into_messages)
     }
 
-    /// A notice of a session; given back where it may go out now, else it follows the answer that it waits for.
-    pub fn notice(&mut self, session: u64, notice: Value) -> Option<Value> {
-        match self
+    /// Returns a session's notification if it may go out now, else defers it behind the batch that makes the session
+    /// known.
+    pub fn notify(&mut self, session: u64, notification: Value) -> Option<Value> {
+        let announcing_batch = self
             .batches
             .values_mut()
-            .find(|b| b.sessions.contains(&session))
-        {
-            Some(batch) => {
-                batch.held.push(notice);
-                None
-            }
-            None => Some(notice),
-        }
+            .find(|batch| batch.sessions.contains(&session));
+        let Some(batch) = announcing_batch else {
+            return Some(notification);
+        };
+        batch.deferred.push(notification);
+        None
     }
 }
 
--- a/crates/session-api/src/calls/tests.rs
+++ b/crates/session-api/src/calls/tests.rs
@@ -6,7 +6,7 @@
 }
 
 #[test]
-fn single_answers_go_out_at_once_and_only_for_calls_that_wait() {
+fn single_answers_go_out_at_once_and_only_for_pending_calls() {
     let mut calls = Calls::default();
     calls.wait(1, id(7), None);
     assert!(calls.answer(2, None, |_| json!("x")).is_empty());
@@ -15,24 +15,26 @@
         [json!({"id": 7})]
     );
     assert!(calls.answer(1, None, |_| json!("again")).is_empty());
-    assert_eq!(calls.notice(5, json!("rung")), Some(json!("rung")));
+    assert_eq!(calls.notify(5, json!("rung")), Some(json!("rung")));
 }
 
 #[test]
-fn notices_of_a_session_follow_the_batch_that_makes_it_known() {
+fn notifications_of_a_session_follow_the_batch_that_makes_it_known() {
     let mut calls = Calls::default();
     calls.begin(1, 3);
     calls.wait(1, id(1), Some(1));
     calls.wait(2, id(2), Some(1));
-    assert!(calls.give(Some(1), None, json!("malformed")).is_empty());
+    assert!(calls
+        .answer_directly(Some(1), None, json!("malformed"))
+        .is_empty());
     assert!(calls.answer(1, Some(9), |_| json!("plays")).is_empty());
-    assert_eq!(calls.notice(9, json!("rung")), None);
+    assert_eq!(calls.notify(9, json!("rung")), None);
     assert_eq!(
-        calls.notice(8, json!("other")),
+        calls.notify(8, json!("other")),
         Some(json!("other")),
         "another session's is not held"
     );
-    assert_eq!(calls.notice(9, json!("end")), None);
+    assert_eq!(calls.notify(9, json!("end")), None);
     let out = calls.answer(2, None, |_| json!("refused"));
     assert_eq!(
         out,
@@ -42,11 +44,11 @@
             json!("end")
         ]
     );
-    assert_eq!(calls.notice(9, json!("later")), Some(json!("later")));
+    assert_eq!(calls.notify(9, json!("later")), Some(json!("later")));
 }
 
 #[test]
-fn batches_under_way_together_are_kept_apart() {
+fn concurrent_batches_are_independent() {
     let mut calls = Calls::default();
     for batch in [1, 2] {
         calls.begin(batch, 2);
@@ -55,7 +57,7 @@
     }
     calls.answer(10, Some(1), |_| json!(1));
     calls.answer(20, Some(2), |_| json!(2));
-    assert_eq!(calls.notice(1, json!("a")), None);
+    assert_eq!(calls.notify(1, json!("a")), None);
     assert_eq!(calls.answer(21, None, |_| json!(3)), [json!([2, 3])]);
     assert_eq!(
         calls.answer(11, None, |_| json!(4)),
@@ -63,7 +65,7 @@
     );
     calls.begin(3, 0);
     assert_eq!(
-        calls.give(Some(3), None, json!("x")),
+        calls.answer_directly(Some(3), None, json!("x")),
         [json!("x")],
         "one that owes nothing holds nothing"
     );
--- a/crates/session-api/src/client.rs
+++ b/crates/session-api/src/client.rs
@@ -4,79 +4,90 @@
 use serde::Serialize;
 use serde_json::{json, Value};
 
-/// What a front said.
+/// Why a text is not a front's message.
+#[derive(Debug, thiserror::Error)]
+pub enum ClientError {
+    /// It is not JSON.
+    #[error("{0}")]
+    Json(#[from] serde_json::Error),
+    /// It is JSON, but no message that a front sends.
+    #[error("not a front's message: {0}")]
+    UnexpectedMessage(Value),
+}
+
+/// A front's message.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ClientEvent {
-    /// A call's answer: the session plays.
+    /// Answer to a call: the session is established.
     Plays {
-        /// The call.
+        /// The call's id.
         id: u64,
-        /// The session.
+        /// The session's name.
         session: String,
-        /// Where it is fetched from.
+        /// Where its media is fetched from.
         media: String,
         /// The rung in force.
         rung: u8,
     },
-    /// A call's answer: closed as asked.
+    /// Answer to a call: the session was closed.
     Closed {
-        /// The call.
+        /// The call's id.
         id: u64,
     },
-    /// A call's answer: refused.
+    /// Answer to a call: rejected, without effect.
     Refused {
-        /// The call.
+        /// The call's id.
         id: u64,
-        /// Why.
+        /// The reason as on the wire.
         reason: String,
-        /// When to come back, milliseconds.
+        /// Retry-After in milliseconds.
         retry_after_ms: Option<u64>,
     },
-    /// A call's answer: failed, perhaps with effect.
+    /// Answer to a call: failed, perhaps with effect.
     Failed {
-        /// The call.
+        /// The call's id.
         id: u64,
-        /// Why.
+        /// The reason as on the wire.
         reason: String,
     },
-    /// A call's answer: another connection has it.
+    /// Answer to a call: another connection resumed the session.
     Superseded {
-        /// The call.
+        /// The call's id.
         id: u64,
     },
-    /// A call's answer: no such session.
+    /// Answer to a call: no such session.
     Unknown {
-        /// The call.
+        /// The call's id.
         id: u64,
     },
-    /// Another error; the call where it is known.
+    /// Any other error.
     Error {
-        /// The call.
+        /// The call's id, if the error names it.
         id: Option<u64>,
-        /// Its code.
+        /// The error code.
         code: i64,
-        /// In words.
+        /// The error message.
         message: String,
     },
-    /// The rung changes.
+    /// Notification: the rung of a session changes.
     Rung {
-        /// The session.
+        /// The session's name.
         session: String,
         /// The rung in force from now on.
         rung: u8,
     },
-    /// The session is over.
+    /// Notification: the session has ended.
     End {
-        /// The session.
+        /// The session's name.
         session: String,
-        /// Why.
+        /// The reason as on the wire.
         reason: String,
-        /// When to come back, milliseconds.
+        /// Retry-After in milliseconds.
         retry_after_ms: Option<u64>,
     },
-    /// The session moves.
+    /// Notification: the session migrates; open it again with the same key.
     Move {
-        /// The session.
+        /// The session's name.
         session: String,
     },
 }
@@ -85,111 +96,113 @@
     json!({"jsonrpc": "2.0", "id": id, "method": method, "params": params}).to_string()
 }
 
-/// A text that opens a session.
+/// A call that opens a session.
+#[must_use]
 pub fn open(id: u64, params: &Open) -> String {
     call(id, "session.open", params)
 }
 
-/// A text that takes a session up again.
+/// A call that resumes a session.
+#[must_use]
 pub fn resume(id: u64, params: &Resume) -> String {
     call(id, "session.resume", params)
 }
 
-/// A text that closes a session.
+/// A call that closes a session.
+#[must_use]
 pub fn close(id: u64, session: &str) -> String {
-    call(
-        id,
-        "session.close",
-        Close {
-            session: session.to_owned(),
-        },
-    )
+    let session = session.to_owned();
+    call(id, "session.close", Close { session })
 }
 
-/// What a text says: one message, or all of a batch.
+/// Reads a text: one message, or all messages of a batch.
 ///
 /// # Errors
-/// It is none that a front sends.
-pub fn read(text: &str) -> Result<Vec<ClientEvent>, String> {
-    match serde_json::from_str(text).map_err(|e| e.to_string())? {
-        Value::Array(members) => members.iter().map(said).collect(),
-        value => said(&value).map(|s| vec![s]),
+/// The text is not JSON, or holds a message that no front sends.
+pub fn read(text: &str) -> Result<Vec<ClientEvent>, ClientError> {
+    match serde_json::from_str(text)? {
+        Value::Array(members) => members.iter().map(read_message).collect(),
+        message => Ok(vec![read_message(&message)?]),
     }
 }
 
-fn said(value: &Value) -> Result<ClientEvent, String> {
-    let strange = || format!("not a front's message: {value}");
-    if value["jsonrpc"] != "2.0" {
-        return Err(strange());
+fn read_message(message: &Value) -> Result<ClientEvent, ClientError> {
+    parse_message(message).ok_or_else(|| ClientError::UnexpectedMessage(message.clone()))
+}
+
+fn parse_message(message: &Value) -> Option<ClientEvent> {
+    if message["jsonrpc"] != "2.0" {
+        return None;
     }
-    let text = |v: &Value| v.as_str().map(str::to_owned).ok_or_else(strange);
-    let rung = |v: &Value| {
-        v.as_u64()
-            .and_then(|r| u8::try_from(r).ok())
-            .ok_or_else(strange)
-    };
-    if let Some(method) = value["method"].as_str() {
-        let params = &value["params"];
-        let session = text(&params["session"])?;
-        return match method {
-            "session.rung" => Ok(ClientEvent::Rung {
-                session,
-                rung: rung(&params["rung"])?,
-            }),
-            "session.end" => {
-                let (reason, retry_after_ms) =
-                    (text(&params["reason"])?, params["retry_after_ms"].as_u64());
-                Ok(ClientEvent::End {
-                    session,
-                    reason,
-                    retry_after_ms,
-                })
-            }
-            "session.move" => Ok(ClientEvent::Move { session }),
-            _ => Err(strange()),
-        };
+    if let Some(method) = message["method"].as_str() {
+        return parse_notification(method, &message["params"]);
     }
-    let id = value["id"].as_u64();
-    if let Some(error) = value.get("error") {
-        let (code, data) = (error["code"].as_i64().ok_or_else(strange)?, &error["data"]);
-        let known = id.filter(|_| (UNKNOWN_SESSION..=REFUSED).contains(&code));
-        let Some(id) = known else {
-            return Ok(ClientEvent::Error {
-                id,
-                code,
-                message: text(&error["message"])?,
-            });
-        };
-        return match code {
-            REFUSED => {
-                let (reason, retry_after_ms) =
-                    (text(&data["reason"])?, data["retry_after_ms"].as_u64());
-                Ok(ClientEvent::Refused {
-                    id,
-                    reason,
-                    retry_after_ms,
-                })
-            }
-            FAILED => Ok(ClientEvent::Failed {
-                id,
-                reason: text(&data["reason"])?,
-            }),
-            SUPERSEDED => Ok(ClientEvent::Superseded { id }),
-            _ => Ok(ClientEvent::Unknown { id }),
-        };
+    let id = message["id"].as_u64();
+    if let Some(error) = message.get("error") {
+        return parse_error(id, error);
     }
-    let (id, result) = (id.ok_or_else(strange)?, &value["result"]);
+    parse_result(id?, &message["result"])
+}
+
+fn parse_notification(method: &str, params: &Value) -> Option<ClientEvent> {
+    let session = text(&params["session"])?;
+    match method {
+        "session.rung" => Some(ClientEvent::Rung {
+            session,
+            rung: rung(&params["rung"])?,
+        }),
+        "session.end" => Some(ClientEvent::End {
+            session,
+            reason: text(&params["reason"])?,
+            retry_after_ms: params["retry_after_ms"].as_u64(),
+        }),
+        "session.move" => Some(ClientEvent::Move { session }),
+        _ => None,
+    }
+}
+
+fn parse_error(id: Option<u64>, error: &Value) -> Option<ClientEvent> {
+    let code = error["code"].as_i64()?;
+    let data = &error["data"];
+    match (id, code) {
+        (Some(id), REFUSED) => Some(ClientEvent::Refused {
+            id,
+            reason: text(&data["reason"])?,
+            retry_after_ms: data["retry_after_ms"].as_u64(),
+        }),
+        (Some(id), FAILED) => Some(ClientEvent::Failed {
+            id,
+            reason: text(&data["reason"])?,
+        }),
+        (Some(id), SUPERSEDED) => Some(ClientEvent::Superseded { id }),
+        (Some(id), UNKNOWN_SESSION) => Some(ClientEvent::Unknown { id }),
+        _ => Some(ClientEvent::Error {
+            id,
+            code,
+            message: text(&error["message"])?,
+        }),
+    }
+}
+
+fn parse_result(id: u64, result: &Value) -> Option<ClientEvent> {
     if result["closed"] == true {
-        return Ok(ClientEvent::Closed { id });
+        return Some(ClientEvent::Closed { id });
     }
-    let (session, media) = (text(&result["session"])?, text(&result["media"])?);
-    Ok(ClientEvent::Plays {
+    Some(ClientEvent::Plays {
         id,
-        session,
-        media,
+        session: text(&result["session"])?,
+        media: text(&result["media"])?,
         rung: rung(&result["rung"])?,
     })
 }
 
+fn text(value: &Value) -> Option<String> {
+    value.as_str().map(str::to_owned)
+}
+
+fn rung(value: &Value) -> Option<u8> {
+    u8::try_from(value.as_u64()?).ok()
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/session-api/src/client/tests.rs
+++ b/crates/session-api/src/client/tests.rs
@@ -9,7 +9,7 @@
 };
 
 #[test]
-fn what_a_player_writes_a_front_reads() {
+fn a_front_reads_what_a_player_writes() {
     let params = Open {
         key: "k1234567".into(),
         title: "t".into(),
@@ -57,83 +57,79 @@
     );
 }
 
-#[test]
-fn what_a_front_writes_a_player_reads() {
-    let id = Id(7.into());
-    let plays = Answer::Established {
+const CALL: u64 = 7;
+
+fn established() -> Answer {
+    Answer::Established {
         session: RequestId(3),
         attempt: AttemptId(1),
         server: ServerId(2),
         rung: 1,
+    }
+}
+
+/// The answer of a front to [`CALL`].
+fn answer_to_call(version: Version, to: &Answer, media: &str, zone: &str) -> Value {
+    answer(version, &Id(CALL.into()), to, media, zone)
+}
+
+fn assert_read_as(message: &Value, want: ClientEvent) {
+    assert_eq!(read(&message.to_string()).unwrap(), vec![want]);
+}
+
+#[test]
+fn a_player_reads_the_answers_that_a_front_writes() {
+    let plays = ClientEvent::Plays {
+        id: CALL,
+        session: "s-3".to_owned(),
+        media: "http://x/y".to_owned(),
+        rung: 1,
     };
-    let (session, media) = ("s-3".to_owned(), "http://x/y".to_owned());
-    for (said, want) in [
-        (
-            answer(Version::V1, &id, &plays, "http://x/y", "north"),
-            ClientEvent::Plays {
-                id: 7,
-                session: session.clone(),
-                media,
-                rung: 1,
-            },
-        ),
-        (
-            answer(
-                Version::V1,
-                &id,
-                &Answer::Rejected(RejectReason::NoCapacity, 1_500_000),
-                "",
-                "",
-            ),
-            ClientEvent::Refused {
-                id: 7,
-                reason: "no_room".into(),
-                retry_after_ms: Some(2),
-            },
-        ),
-        (
-            answer(
-                Version::V1,
-                &id,
-                &Answer::Failed(FailureReason::ConnectionLost),
-                "",
-                "",
-            ),
-            ClientEvent::Failed {
-                id: 7,
-                reason: "broken".into(),
-            },
-        ),
-        (
-            answer(Version::V1, &id, &Answer::Superseded, "", ""),
-            ClientEvent::Superseded { id: 7 },
-        ),
-        (
-            answer(Version::V1, &id, &Answer::UnknownSession, "", ""),
-            ClientEvent::Unknown { id: 7 },
-        ),
+    let rejected = ClientEvent::Refused {
+        id: CALL,
+        reason: "no_room".into(),
+        retry_after_ms: Some(2),
+    };
+    let failed = ClientEvent::Failed {
+        id: CALL,
+        reason: "broken".into(),
+    };
+    for (written, want) in [
+        (established(), plays),
         (
-            answer(Version::V1, &id, &Answer::Closed, "", ""),
-            ClientEvent::Closed { id: 7 },
+            Answer::Rejected(RejectReason::NoCapacity, 1_500_000),
+            rejected,
         ),
+        (Answer::Failed(FailureReason::ConnectionLost), failed),
+        (Answer::Superseded, ClientEvent::Superseded { id: CALL }),
+        (Answer::UnknownSession, ClientEvent::Unknown { id: CALL }),
+        (Answer::Closed, ClientEvent::Closed { id: CALL }),
+    ] {
+        let message = answer_to_call(Version::V1, &written, "http://x/y", "north");
+        assert_read_as(&message, want);
+    }
+}
+
+#[test]
+fn a_player_reads_the_notifications_that_a_front_writes() {
+    let session = "s-3".to_owned();
+    let ended = Notification::SessionEnded(SessionEndReason::ServerLost, 0);
+    for (written, want) in [
         (
-            notice(RequestId(3), Notification::RungChanged(2)),
+            Notification::RungChanged(2),
             ClientEvent::Rung {
                 session: session.clone(),
                 rung: 2,
             },
         ),
         (
-            notice(RequestId(3), Notification::Migrate),
+            Notification::Migrate,
             ClientEvent::Move {
                 session: session.clone(),
             },
         ),
         (
-            notice(
-                RequestId(3),
-                Notification::SessionEnded(SessionEndReason::ServerLost, 0),
-            ),
+            ended,
             ClientEvent::End {
                 session,
                 reason: "server_lost".into(),
@@ -141,20 +137,29 @@
             },
         ),
     ] {
-        assert_eq!(read(&said.to_string()), Ok(vec![want]));
+        assert_read_as(&notice(RequestId(3), written), want);
     }
-    assert!(read("{}").is_err() && read("x").is_err());
-    // What a newer version adds is not said to an older one.
-    let at_home = Answer::Rejected(RejectReason::CrossZoneForbidden, 0);
+}
+
+#[test]
+fn texts_that_no_front_writes_are_errors() {
+    assert!(read("{}").is_err());
+    assert!(read("x").is_err());
+}
+
+#[test]
+fn an_older_version_gets_none_of_what_a_newer_one_adds() {
+    let rejected = Answer::Rejected(RejectReason::CrossZoneForbidden, 0);
     let reason =
-        |version| answer(version, &id, &at_home, "", "")["error"]["data"]["reason"].clone();
+        |version| answer_to_call(version, &rejected, "", "")["error"]["data"]["reason"].clone();
     assert_eq!(
         (reason(Version::V1), reason(Version::V2)),
         ("no_room".into(), "held_at_home".into())
     );
-    let hall = |version| answer(version, &id, &plays, "m", "north")["result"]["hall"].clone();
+    let zone =
+        |version| answer_to_call(version, &established(), "m", "north")["result"]["hall"].clone();
     assert_eq!(
-        (hall(Version::V1), hall(Version::V2)),
+        (zone(Version::V1), zone(Version::V2)),
         (Value::Null, "north".into())
     );
 }
--- a/crates/session-api/src/jsonrpc/tests.rs
+++ b/crates/session-api/src/jsonrpc/tests.rs
@@ -6,7 +6,7 @@
 
 /// The examples of the specification, section 7, as far as they concern what a server reads.
 #[test]
-fn the_specifications_examples_are_read_as_it_says() {
+fn examples_of_the_specification_are_read_as_specified() {
     let Message::One(Ok(call)) =
         read(r#"{"jsonrpc":"2.0","method":"subtract","params":[42,23],"id":1}"#)
     else {
--- a/crates/session-api/src/lib.rs
+++ b/crates/session-api/src/lib.rs
@@ -1,13 +1,12 @@
-//! The session API without I/O: JSON-RPC 2.0 as its specification has it, and the methods and notifications that it
+//! The session API without I/O: JSON-RPC 2.0 as specified, and the methods and notifications that the specification
 //! leaves open.
 //!
 //! - [`jsonrpc`]: texts to calls and back, batches and notifications, the standard errors;
-//! - [`methods`]: `session.open`, `session.resume`, `session.close`, and what they take;
-//! - [`calls`]: calls that wait, batches, and the order in which answers and notices go out;
-//! - [`messages`]: what results, error data and notifications hold, from which the descriptions are made;
+//! - [`methods`]: `session.open`, `session.resume`, `session.close`, and their parameters;
+//! - [`calls`]: pending calls, batches, and the order in which answers and notifications go out;
+//! - [`messages`]: results, error data and notification parameters, from which the descriptions are generated;
 //! - [`answers`]: results, errors and notifications that a front sends;
 //! - [`client`]: the player's side of the same messages.
-#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 pub mod answers;
@@ -17,20 +16,21 @@
 pub mod messages;
 pub mod methods;
 
-/// A version of the session API; a front serves the present and the previous one.
+/// A version of the session API; a front serves the current and the previous one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Version {
-    /// The previous one; what a client speaks that names none.
+    /// The previous one; the default for a client that offers none.
     V1,
-    /// The present one: names the hall that serves a session, and says when a budget holds a request at home.
+    /// The current one: adds the zone that serves a session, and the rejection by a cross-zone budget.
     V2,
 }
 
 impl Version {
-    /// All that are served, the present one first.
+    /// All served versions, the current one first.
     pub const SERVED: [Version; 2] = [Version::V2, Version::V1];
 
     /// The WebSocket subprotocol that carries it.
+    #[must_use]
     pub fn subprotocol(self) -> &'static str {
         match self {
             Version::V1 => "session.v1.jsonrpc",
@@ -38,12 +38,12 @@
         }
     }
 
-    /// The first version that a client offers and that is served: the client's order is its wish (RFC 6455, 1.9).
+    /// The first served version among a client's offers, which come in the client's order of preference (RFC 6455, 1.9).
     pub fn of_offers<'a>(mut offers: impl Iterator<Item = &'a str>) -> Option<Version> {
         offers.find_map(|offer| {
             Version::SERVED
                 .into_iter()
-                .find(|v| v.subprotocol() == offer.trim())
+                .find(|version| version.subprotocol() == offer.trim())
         })
     }
 }
--- a/crates/session-api/src/messages.rs
+++ b/crates/session-api/src/messages.rs
@@ -1,5 +1,8 @@
-//! What goes over the wire inside JSON-RPC's envelopes: the codec writes and reads these types, and the published
-//! descriptions are made from them.
+//! Results, error data and notification parameters inside JSON-RPC's envelopes: the codec writes and reads these types,
+//! and the published API descriptions are generated from them.
+//!
+//! Type names and doc comments here are part of those descriptions, in the API's own wording; variants carry the core's
+//! terms and are renamed for the wire.
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -33,16 +36,20 @@
 #[serde(rename_all = "snake_case")]
 pub enum RefusedReason {
     /// No server that holds the title has room or may be used now.
-    NoRoom,
+    #[serde(rename = "no_room")]
+    NoCapacity,
     /// Its own hall has no room, and the budget between halls holds it there. Since `session.v2`.
     #[schemars(extend("x-since" = 2))]
-    HeldAtHome,
+    #[serde(rename = "held_at_home")]
+    CrossZoneForbidden,
     /// The front itself has more to do than it can answer in time.
     Overload,
     /// Too many requests wait for an answer, in all or on this connection.
-    TooManyOpen,
+    #[serde(rename = "too_many_open")]
+    TooManyPending,
     /// The front is stopping.
-    Stopping,
+    #[serde(rename = "stopping")]
+    ShuttingDown,
 }
 
 /// Data of error -32001: refused.
@@ -65,9 +72,11 @@
     /// A server answered with an error.
     ServerError,
     /// The connection to a server broke while an attempt was out.
-    Broken,
+    #[serde(rename = "broken")]
+    ConnectionLost,
     /// The attempt was withdrawn, for instance because its player left.
-    Withdrawn,
+    #[serde(rename = "withdrawn")]
+    Cancelled,
     /// The key stands for a paid session that played and is over; a new session wants a new key.
     KeySpent,
 }
@@ -89,9 +98,11 @@
     /// Its server was lost.
     ServerLost,
     /// Another connection took it up.
-    TakenOver,
+    #[serde(rename = "taken_over")]
+    Superseded,
     /// The front stops.
-    Stopping,
+    #[serde(rename = "stopping")]
+    ShuttingDown,
 }
 
 /// `session.end`: the session is over.
--- a/crates/session-api/src/methods.rs
+++ b/crates/session-api/src/methods.rs
@@ -1,13 +1,15 @@
-//! What players call.
+//! The methods that players call, and their parameters.
 use crate::jsonrpc::{Error, INVALID_PARAMS, METHOD_NOT_FOUND};
 use schemars::JsonSchema;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-/// Shortest and longest key, in characters: it stands for a session, so it must not be guessed.
+/// Allowed lengths of an idempotency key in characters. Why a lower bound: a key gives access to its session, so it must
+/// not be guessed.
 pub const KEY_LENGTH: std::ops::RangeInclusive<usize> = 8..=128;
-/// Largest number that every client's JSON holds exactly (2^53 - 1); no larger one is taken.
-pub const MOST: u64 = 9_007_199_254_740_991;
+/// Largest integer that every client's JSON holds exactly (2^53 - 1); larger ones are rejected.
+pub const MAX_SAFE_INTEGER: u64 = 9_007_199_254_740_991;
 
 /// `session.open`: asks for a session, once for each key.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
@@ -77,80 +79,106 @@
     /// The method that is called.
     ///
     /// # Errors
-    /// There is no such method, or it does not take these parameters.
+    /// There is no such method, or it does not accept these parameters.
     pub fn of(name: &str, params: Value) -> Result<Method, Error> {
-        let wrong = |e: serde_json::Error| Error::new(INVALID_PARAMS, format!("{name}: {e}"));
-        let params = match params {
-            // JSON knows one kind of number: 3.0 is a whole one, as the descriptions' schemas have it.
-            Value::Object(fields) => {
-                Value::Object(fields.into_iter().map(|(k, v)| (k, whole(v))).collect())
-            }
-            // Danger: a list would be taken by the order of fields, which no description tells.
-            Value::Array(_) => {
-                return Err(Error::new(
-                    INVALID_PARAMS,
-                    format!("{name}: params are an object here"),
-                ));
-            }
-            other => other,
-        };
+        let params = normalize_params(name, params)?;
         let method = match name {
-            "session.open" => Method::Open(serde_json::from_value(params).map_err(wrong)?),
-            "session.resume" => Method::Resume(serde_json::from_value(params).map_err(wrong)?),
-            "session.close" => Method::Close(serde_json::from_value(params).map_err(wrong)?),
-            _ => {
-                let known = "known: session.open, session.resume, session.close";
-                return Err(Error::new(
-                    METHOD_NOT_FOUND,
-                    format!("no method {name:?}; {known}"),
-                ));
-            }
+            "session.open" => Method::Open(parse_params(name, params)?),
+            "session.resume" => Method::Resume(parse_params(name, params)?),
+            "session.close" => Method::Close(parse_params(name, params)?),
+            _ => return Err(unknown_method(name)),
         };
-        if let Method::Open(Open { key, .. }) | Method::Resume(Resume { key, .. }) = &method {
-            if !KEY_LENGTH.contains(&key.chars().count()) {
-                let (least, most) = KEY_LENGTH.into_inner();
-                let what = format!("{name}: a key has {least} to {most} characters");
-                return Err(Error::new(INVALID_PARAMS, what));
-            }
+        method.check_key_length(name)?;
+        method.check_times(name)?;
+        Ok(method)
+    }
+
+    fn check_key_length(&self, name: &str) -> Result<(), Error> {
+        let (Method::Open(Open { key, .. }) | Method::Resume(Resume { key, .. })) = self else {
+            return Ok(());
+        };
+        if KEY_LENGTH.contains(&key.chars().count()) {
+            return Ok(());
         }
-        if let Method::Open(Open {
-            give_up_ms,
-            hint_ms,
-            ..
-        }) = &method
-        {
-            if [give_up_ms, hint_ms]
-                .into_iter()
-                .flatten()
-                .any(|ms| *ms > MOST)
-            {
-                return Err(Error::new(
-                    INVALID_PARAMS,
-                    format!("{name}: a time has {MOST} ms at most"),
-                ));
-            }
+        let (min, max) = KEY_LENGTH.into_inner();
+        Err(invalid_params(format!(
+            "{name}: a key has {min} to {max} characters"
+        )))
+    }
+
+    fn check_times(&self, name: &str) -> Result<(), Error> {
+        let Method::Open(open) = self else {
+            return Ok(());
+        };
+        let mut times_ms = [open.give_up_ms, open.hint_ms].into_iter().flatten();
+        if times_ms.all(|time_ms| time_ms <= MAX_SAFE_INTEGER) {
+            return Ok(());
         }
-        Ok(method)
+        Err(invalid_params(format!(
+            "{name}: a time has {MAX_SAFE_INTEGER} ms at most"
+        )))
     }
 }
 
-/// A number without a fraction as a whole one.
-fn whole(value: Value) -> Value {
-    match value.as_f64().filter(|_| value.is_f64()) {
-        Some(n) if n.fract() == 0.0 && (0.0..=MOST as f64).contains(&n) => Value::from(n as u64),
+fn invalid_params(message: String) -> Error {
+    Error::new(INVALID_PARAMS, message)
+}
+
+fn unknown_method(name: &str) -> Error {
+    let known = "known: session.open, session.resume, session.close";
+    Error::new(METHOD_NOT_FOUND, format!("no method {name:?}; {known}"))
+}
+
+fn parse_params<T: DeserializeOwned>(name: &str, params: Value) -> Result<T, Error> {
+    serde_json::from_value(params).map_err(|error| invalid_params(format!("{name}: {error}")))
+}
+
+/// Parameters with numbers without a fraction as integers: JSON has one kind of number, and 3.0 is an integer in the
+/// published schemas.
+///
+/// Why a list is rejected: it would be read in the order of fields, which no description states.
+fn normalize_params(name: &str, params: Value) -> Result<Value, Error> {
+    match params {
+        Value::Object(fields) => {
+            let fields = fields.into_iter();
+            let normalized = fields.map(|(field, value)| (field, normalize_number(value)));
+            Ok(Value::Object(normalized.collect()))
+        }
+        Value::Array(_) => Err(invalid_params(format!("{name}: params are an object here"))),
+        other => Ok(other),
+    }
+}
+
+/// A number without a fraction as an integer.
+fn normalize_number(value: Value) -> Value {
+    if !value.is_f64() {
+        return value;
+    }
+    match value.as_f64() {
+        Some(number)
+            if number.fract() == 0.0 && (0.0..=MAX_SAFE_INTEGER as f64).contains(&number) =>
+        {
+            Value::from(number as u64)
+        }
         _ => value,
     }
 }
 
-/// The session's number from its name on the wire.
+/// Precedes the number in a session's name on the wire.
+const SESSION_PREFIX: &str = "s-";
+
+/// The session's number from its name on the wire; `None` where it is not such a name.
+#[must_use]
 pub fn session_number(name: &str) -> Option<u64> {
-    let digits = name.strip_prefix("s-")?;
-    (!digits.starts_with('+'))
-        .then(|| digits.parse().ok())
-        .flatten()
+    let digits = name.strip_prefix(SESSION_PREFIX)?;
+    if digits.starts_with('+') {
+        return None; // `parse` would accept it.
+    }
+    digits.parse().ok()
 }
 
 /// The session's name on the wire.
+#[must_use]
 pub fn session_name(number: u64) -> String {
-    format!("s-{number}")
+    format!("{SESSION_PREFIX}{number}")
 }
