--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -1,17 +1,34 @@
-//! The one clock of a process: nanoseconds of Unix time at its start, going on without steps.
+//! The process's only clock: Unix time in nanoseconds as of its start, advanced monotonically.
 use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-static START: OnceLock<(Instant, u64)> = OnceLock::new();
+/// The same instant on the monotonic and on the wall clock.
+struct Origin {
+    instant: Instant,
+    unix_nanoseconds: u64,
+}
+
+static ORIGIN: OnceLock<Origin> = OnceLock::new();
 
-/// Now. Danger: the list tells starts of servers in Unix time, so hosts whose clocks differ misjudge how cold a server
-/// is by as much; but the clock itself never goes back, whatever is done to the host's.
+/// The current time in nanoseconds.
+///
+/// It never goes back, whatever happens to the host's wall clock. The endpoint list states servers' starts in Unix time,
+/// so hosts whose wall clocks differ misjudge a server's slow start by as much.
+#[must_use]
 pub fn now() -> u64 {
-    let (start, unix) = START.get_or_init(|| {
+    let origin = ORIGIN.get_or_init(|| {
         let unix = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or(Duration::ZERO);
-        (Instant::now(), unix.as_nanos() as u64)
+        Origin {
+            instant: Instant::now(),
+            unix_nanoseconds: unix.as_nanos() as u64,
+        }
     });
-    unix + start.elapsed().as_nanos() as u64
+    origin.unix_nanoseconds + origin.instant.elapsed().as_nanos() as u64
+}
+
+/// The current time plus `nanoseconds`, for [`crate::Socket::set_expiry`].
+pub(crate) fn after(nanoseconds: u64) -> u64 {
+    now().saturating_add(nanoseconds)
 }
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -1,36 +1,23 @@
 //! HTTP messages over a socket.
-use crate::socket::after;
+use crate::clock::after;
 use crate::Socket;
 use crankpaddle_http::body::Body;
 use crankpaddle_http::head::{Bad, Framing, Request, Response};
 use crankpaddle_http::sse::{Event, Reader};
 use std::sync::Arc;
 
-/// Why no message came.
-#[derive(Debug)]
+/// Why no message was received.
+#[derive(Debug, thiserror::Error)]
 pub enum ExchangeError {
-    /// The connection ended before the first byte of it.
+    /// The connection ended before the first byte of the message.
+    #[error("closed")]
     Closed,
-    /// The connection broke in the midst of it.
+    /// The connection failed in the middle of the message.
+    #[error("broken")]
     Broken,
-    /// It is malformed.
-    Bad(Bad),
-}
-
-impl From<Bad> for ExchangeError {
-    fn from(bad: Bad) -> ExchangeError {
-        ExchangeError::Bad(bad)
-    }
-}
-
-impl std::fmt::Display for ExchangeError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            ExchangeError::Closed => f.write_str("closed"),
-            ExchangeError::Broken => f.write_str("broken"),
-            ExchangeError::Bad(bad) => write!(f, "malformed: {bad}"),
-        }
-    }
+    /// The message is malformed.
+    #[error("malformed: {0}")]
+    Bad(#[from] Bad),
 }
 
 /// A connection that carries HTTP, and what was read beyond the last message.
@@ -40,11 +27,12 @@
     buffer: Vec<u8>,
 }
 
-/// Bytes asked of the kernel at once.
-const PIECE: usize = 2048;
+/// Bytes requested from the kernel at once.
+const READ_SIZE: usize = 2048;
 
 impl HttpExchange {
     /// A connection on which nothing was read.
+    #[must_use]
     pub fn new(socket: Arc<Socket>) -> HttpExchange {
         HttpExchange {
             socket,
@@ -53,63 +41,70 @@
     }
 
     /// What was read beyond the last message.
+    #[must_use]
     pub fn into_rest(self) -> Vec<u8> {
         self.buffer
     }
 
     /// Whether nothing was read beyond the last message.
+    #[must_use]
     pub fn is_clean(&self) -> bool {
         self.buffer.is_empty()
     }
 
-    fn more(&mut self) -> Result<(), ExchangeError> {
-        let mut piece = [0u8; PIECE];
-        match self.socket.read(&mut piece) {
+    /// Reads at least one byte into the buffer.
+    fn fill_buffer(&mut self) -> Result<(), ExchangeError> {
+        let mut bytes = [0u8; READ_SIZE];
+        match self.socket.read(&mut bytes) {
             Ok(0) | Err(_) if self.buffer.is_empty() => Err(ExchangeError::Closed),
             Ok(0) | Err(_) => Err(ExchangeError::Broken),
-            Ok(n) => {
-                self.buffer.extend_from_slice(&piece[..n]);
+            Ok(count) => {
+                self.buffer.extend_from_slice(&bytes[..count]);
                 Ok(())
             }
         }
     }
 
-    /// The next request's head; `within` bounds the time from its first byte, nanoseconds (0: unbounded).
+    /// The next request's head. `timeout` bounds the time from its first byte, nanoseconds (0: unbounded).
     ///
     /// # Errors
-    /// None came.
-    pub fn request_head(&mut self, within: u64) -> Result<Request, ExchangeError> {
+    /// None was received.
+    pub fn request_head(&mut self, timeout: u64) -> Result<Request, ExchangeError> {
         loop {
             if let Some((request, length)) = Request::parse(&self.buffer)? {
                 self.buffer.drain(..length);
                 return Ok(request);
             }
-            let first = self.buffer.is_empty();
-            self.more()?;
-            if first && within > 0 {
-                self.socket.set_expiry(after(within));
+            let is_first_read = self.buffer.is_empty();
+            self.fill_buffer()?;
+            if is_first_read && timeout > 0 {
+                self.socket.set_expiry(after(timeout));
             }
         }
     }
 
-    /// A whole request with a body of at most `most` bytes.
+    /// A complete request with a body of at most `max_body` bytes; `timeout` as in [`HttpExchange::request_head`].
     ///
     /// # Errors
-    /// None came.
-    pub fn request(&mut self, most: u64, within: u64) -> Result<(Request, Vec<u8>), ExchangeError> {
-        let request = self.request_head(within)?;
-        let body = Body::new(request.framing()?, most)?;
-        let data = self.body(body)?;
-        if within > 0 {
+    /// None was received.
+    pub fn request(
+        &mut self,
+        max_body: u64,
+        timeout: u64,
+    ) -> Result<(Request, Vec<u8>), ExchangeError> {
+        let request = self.request_head(timeout)?;
+        let body = Body::new(request.framing()?, max_body)?;
+        let data = self.read_body(body)?;
+        if timeout > 0 {
             self.socket.set_expiry(u64::MAX);
         }
         Ok((request, data))
     }
 
-    /// The next final response's head.
+    /// The next response's head; interim responses (1xx, but 101) are skipped.
     ///
     /// # Errors
-    /// None came.
+    /// None was received.
     pub fn response_head(&mut self) -> Result<Response, ExchangeError> {
         loop {
             if let Some((response, length)) = Response::parse(&self.buffer)? {
@@ -119,22 +114,22 @@
                 }
                 continue;
             }
-            self.more()?;
+            self.fill_buffer()?;
         }
     }
 
-    /// A whole response with a body of at most `most` bytes.
+    /// A complete response with a body of at most `max_body` bytes.
     ///
     /// # Errors
-    /// None came.
-    pub fn response(&mut self, most: u64) -> Result<(Response, Vec<u8>), ExchangeError> {
+    /// None was received.
+    pub fn response(&mut self, max_body: u64) -> Result<(Response, Vec<u8>), ExchangeError> {
         let response = self.response_head()?;
-        let body = Body::new(response.framing()?, most)?;
-        let data = self.body(body)?;
+        let body = Body::new(response.framing()?, max_body)?;
+        let data = self.read_body(body)?;
         Ok((response, data))
     }
 
-    fn body(&mut self, mut body: Body) -> Result<Vec<u8>, ExchangeError> {
+    fn read_body(&mut self, mut body: Body) -> Result<Vec<u8>, ExchangeError> {
         let mut data = Vec::new();
         loop {
             let taken = body.feed(&self.buffer, &mut data)?;
@@ -142,7 +137,7 @@
             if body.done() {
                 return Ok(data);
             }
-            match self.more() {
+            match self.fill_buffer() {
                 Ok(()) => {}
                 Err(_) if body.may_close() => return Ok(data),
                 Err(_) => return Err(ExchangeError::Broken),
@@ -150,41 +145,40 @@
         }
     }
 
-    /// Reads a body and throws it away, counting its bytes.
+    /// Reads and discards a body; returns its length in bytes.
     ///
     /// # Errors
-    /// It broke off, after so many bytes.
+    /// It is malformed or the connection failed, after the returned number of bytes.
     pub fn drain_body(&mut self, framing: Framing) -> Result<u64, (u64, ExchangeError)> {
-        let mut body = Body::new(framing, u64::MAX).map_err(|b| (0, b.into()))?;
-        let (mut data, mut count) = (Vec::new(), 0);
+        let mut body = Body::new(framing, u64::MAX).map_err(|malformed| (0, malformed.into()))?;
+        let mut data = Vec::new();
+        let mut count = 0;
         loop {
             let taken = body
                 .feed(&self.buffer, &mut data)
-                .map_err(|b| (count, b.into()))?;
+                .map_err(|malformed| (count, malformed.into()))?;
             self.buffer.drain(..taken);
             count += data.len() as u64;
             data.clear();
             if body.done() {
                 return Ok(count);
             }
-            if let Err(fault) = self.more() {
-                return if body.may_close() {
-                    Ok(count)
-                } else {
-                    Err((count, fault))
-                };
+            match self.fill_buffer() {
+                Ok(()) => {}
+                Err(_) if body.may_close() => return Ok(count),
+                Err(error) => return Err((count, error)),
             }
         }
     }
 
-    /// Goes on as a stream of events, whose head was read.
+    /// Continues as a stream of events after its head; `silence` is the longest time without a byte, nanoseconds.
     ///
     /// # Errors
-    /// Its body is framed in an unknown way.
+    /// The framing of its body is unknown.
     pub fn events(self, head: &Response, silence: u64) -> Result<Events, ExchangeError> {
         let body = Body::new(head.framing()?, u64::MAX)?;
         Ok(Events {
-            wire: self,
+            exchange: self,
             body,
             reader: Reader::default(),
             ready: Vec::new().into_iter(),
@@ -195,7 +189,7 @@
 
 /// A stream of server-sent events.
 pub struct Events {
-    wire: HttpExchange,
+    exchange: HttpExchange,
     body: Body,
     reader: Reader,
     ready: std::vec::IntoIter<Event>,
@@ -203,19 +197,20 @@
 }
 
 impl Events {
-    /// The next event, waited for; each byte that comes, heartbeats too, puts the end by silence off.
+    /// Waits for the next event. Each read, also of a heartbeat, restarts the time after which a silent stream expires.
     ///
     /// # Errors
-    /// The stream ended, broke or is malformed.
+    /// The stream ended, failed or is malformed.
     #[allow(clippy::should_implement_trait)]
     pub fn next(&mut self) -> Result<Event, ExchangeError> {
         loop {
             if let Some(event) = self.ready.next() {
                 return Ok(event);
             }
-            let (mut data, mut events) = (Vec::new(), Vec::new());
-            let taken = self.body.feed(&self.wire.buffer, &mut data)?;
-            self.wire.buffer.drain(..taken);
+            let mut data = Vec::new();
+            let mut events = Vec::new();
+            let taken = self.body.feed(&self.exchange.buffer, &mut data)?;
+            self.exchange.buffer.drain(..taken);
             self.reader
                 .feed(&data, &mut events)
                 .map_err(|e| ExchangeError::Bad(Bad::request(e)))?;
@@ -224,8 +219,8 @@
                 if self.body.done() {
                     return Err(ExchangeError::Closed);
                 }
-                self.wire.socket.set_expiry(after(self.silence));
-                self.wire.more()?;
+                self.exchange.socket.set_expiry(after(self.silence));
+                self.exchange.fill_buffer()?;
             }
         }
     }
--- a/crates/net/src/idle_sweep.rs
+++ b/crates/net/src/idle_sweep.rs
@@ -1,35 +1,24 @@
-//! Ends connections whose time has come, without a timer for each.
+//! Closes sockets that have expired, without a timer for each.
 use crate::{clock, sleep, spawn, Socket, Stack};
 use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::time::Duration;
 
-/// Watches sockets; when it is dropped it stops.
+/// Watches sockets; stops when it is dropped.
 pub struct IdleSweeper {
     sockets: Arc<Mutex<Vec<Weak<Socket>>>>,
 }
 
 impl IdleSweeper {
-    /// Looks at the sockets so often; ends are late by as much.
-    pub fn start(every: Duration) -> IdleSweeper {
+    /// Starts a sweep every `interval`; a socket is closed late by as much.
+    #[must_use]
+    pub fn start(interval: Duration) -> IdleSweeper {
         let sockets: Arc<Mutex<Vec<Weak<Socket>>>> = Arc::default();
         let watched = Arc::downgrade(&sockets);
         spawn(Stack::Usual, move || {
             while let Some(sockets) = watched.upgrade() {
-                let now = clock::now();
-                let alive = |socket: &Weak<Socket>| match socket.upgrade() {
-                    Some(socket) => {
-                        socket.expire(now);
-                        !socket.is_closed()
-                    }
-                    None => false,
-                };
-                // The lock is held over calls that do not wait.
-                sockets
-                    .lock()
-                    .unwrap_or_else(PoisonError::into_inner)
-                    .retain(alive);
+                sweep(&sockets);
                 drop(sockets);
-                sleep(every);
+                sleep(interval);
             }
         });
         IdleSweeper { sockets }
@@ -43,3 +32,17 @@
             .push(Arc::downgrade(socket));
     }
 }
+
+/// Closes expired sockets and forgets closed ones.
+fn sweep(sockets: &Mutex<Vec<Weak<Socket>>>) {
+    let now = clock::now();
+    // The lock is held over calls that do not wait.
+    let mut sockets = sockets.lock().unwrap_or_else(PoisonError::into_inner);
+    sockets.retain(|socket| match socket.upgrade() {
+        Some(socket) => {
+            socket.expire(now);
+            !socket.is_closed()
+        }
+        None => false,
+    });
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,17 +1,20 @@
-//! Sockets on may's coroutines, shared by the front and the laboratory's stand-ins.
+//! Sockets on may's coroutines, shared by the front and the testbed's servers.
 //!
 //! A coroutine moves between threads whenever it waits: nothing here keeps a thread-local or a lock's guard over a
-//! wait. [`Socket`] can be read by one coroutine while any other writes to it without waiting, wakes it or shuts it.
+//! wait. [`Socket`] can be read by one coroutine while any other writes to it without waiting, wakes it or closes it.
 #![deny(unsafe_code)]
 #![warn(missing_docs)]
 pub mod clock;
 pub mod exchange;
 mod idle_sweep;
+mod listener;
 mod runtime;
 mod socket;
 mod write_buffer;
+mod yield_budget;
 
 pub use idle_sweep::IdleSweeper;
+pub use listener::{accept_each, accept_while_capacity, listen};
 pub use runtime::{drain_after_stall, drain_queue, recv_until, sleep, spawn, start, Stack};
-pub use socket::{accept_each, accept_while_capacity, listen, Peer, Socket};
+pub use socket::{Peer, Socket};
 pub use write_buffer::WriteBuffer;
--- a/crates/net/src/write_buffer.rs
+++ b/crates/net/src/write_buffer.rs
@@ -1,100 +1,113 @@
-//! What is to be sent to a peer that may not read: bounded, in order, never waited for by who sends.
-use crate::runtime::Turns;
+//! A bounded buffer of what is sent to a peer that may not read; senders never wait.
+use crate::yield_budget::YieldBudget;
 use crate::Socket;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-/// Bytes for one socket. Danger: a peer that never reads would fill the memory; over the bound it is cut. Harm: a
-/// slow but honest peer is cut too if it falls behind by more.
+/// Outgoing bytes of one socket, in order.
+///
+/// Why it is bounded: a peer that never reads would fill the memory; over the bound it is disconnected, which also hits
+/// a slow but honest peer that falls behind by more.
 pub struct WriteBuffer {
     socket: Arc<Socket>,
-    most: usize,
+    max_pending: usize,
     pending: Mutex<Vec<u8>>,
 }
 
 impl WriteBuffer {
-    /// An outbox in which at most `most` bytes wait.
-    pub fn new(socket: Arc<Socket>, most: usize) -> WriteBuffer {
+    /// A buffer in which at most `max_pending` bytes wait.
+    #[must_use]
+    pub fn new(socket: Arc<Socket>, max_pending: usize) -> WriteBuffer {
         WriteBuffer {
             socket,
-            most,
+            max_pending,
             pending: Mutex::new(Vec::new()),
         }
     }
 
     /// The socket.
+    #[must_use]
     pub fn socket(&self) -> &Arc<Socket> {
         &self.socket
     }
 
-    /// Whether nothing waits: all that was sent is the kernel's.
+    /// Whether no bytes wait: the kernel has accepted all that was pushed.
+    #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.pending
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .is_empty()
+        self.lock_pending().is_empty()
     }
 
-    /// Sends, or keeps what the kernel does not take for [`WriteBuffer::flush`]. Never waits. False if the peer was cut; no byte of
-    /// a message that is shorter than what may wait has gone out then.
+    /// The guard is only held over calls that do not wait.
+    fn lock_pending(&self) -> MutexGuard<'_, Vec<u8>> {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sends bytes, or holds what the kernel does not accept for [`WriteBuffer::flush`]. Never waits. False if the peer was
+    /// disconnected; then no byte has gone out of a message that is shorter than the bound.
     pub fn push(&self, bytes: &[u8]) -> bool {
-        // The lock is held over calls that do not wait.
-        let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut pending = self.lock_pending();
+        if self.try_push(&mut pending, bytes) {
+            return true;
+        }
+        *pending = Vec::new();
+        drop(pending);
+        self.socket.close();
+        false
+    }
+
+    /// False if the connection failed or more than the bound waits.
+    fn try_push(&self, pending: &mut Vec<u8>, bytes: &[u8]) -> bool {
         let sent = if pending.is_empty() {
             self.socket.try_write(bytes)
         } else {
-            Ok(0)
+            Ok(0) // Bytes go out in order.
         };
-        let cut = match sent {
-            Ok(n) => {
-                pending.extend_from_slice(&bytes[n..]);
-                pending.len() > self.most
-            }
-            Err(_) => true,
+        let Ok(sent) = sent else {
+            return false;
         };
-        if cut {
-            *pending = Vec::new();
-            drop(pending);
-            self.socket.close();
-        }
-        !cut
+        pending.extend_from_slice(&bytes[sent..]);
+        pending.len() <= self.max_pending
     }
 
-    /// Hands what the peer sends to `each`, in pieces of `PIECE` bytes at most, and sends what waits, until the peer ends the
-    /// connection or `each` wants no more. Call in the coroutine that waits on the socket. True if the peer ended it.
+    /// Passes what the peer sends to `each`, in pieces of at most `PIECE` bytes, and sends what waits, until the peer ends
+    /// the connection or `each` returns false. Returns whether the peer ended it. Call in the coroutine that waits on the
+    /// socket.
     pub fn read_each<const PIECE: usize>(&self, mut each: impl FnMut(&[u8]) -> bool) -> bool {
-        let (mut piece, mut turns) = ([0u8; PIECE], Turns::default());
+        let mut piece = [0u8; PIECE];
+        let mut budget = YieldBudget::default();
         loop {
             self.flush();
             match self.socket.try_read(&mut piece) {
                 Ok(None) => {
                     self.socket.wait();
-                    turns.waited();
+                    budget.reset();
                 }
                 Ok(Some(0)) | Err(_) => return true,
-                Ok(Some(n)) if !each(&piece[..n]) => return false,
-                Ok(Some(_)) => turns.took(), // From one that sends at full speed there is always something to read.
+                Ok(Some(count)) if !each(&piece[..count]) => return false,
+                Ok(Some(_)) => budget.spend(), // A peer that sends at full speed always has something to read.
             }
         }
     }
 
-    /// Sends what waits until the peer ends the connection, and throws away what it sends. Call in the coroutine that
-    /// waits on the socket.
+    /// Sends what waits until the peer ends the connection, and discards what it sends. Call in the coroutine that waits on
+    /// the socket.
     pub fn until_closed(&self) {
         self.read_each::<64>(|_| true);
     }
 
-    /// Sends what waits, as far as the kernel takes it; called by the coroutine that waits on the socket. True if
-    /// nothing waits any more.
+    /// Sends what waits, as far as the kernel accepts it; true if nothing waits any more. Called by the coroutine that waits
+    /// on the socket.
     pub fn flush(&self) -> bool {
-        let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut pending = self.lock_pending();
         while !pending.is_empty() {
             match self.socket.try_write(&pending) {
                 Ok(0) => return false,
-                Ok(n) => drop(pending.drain(..n)),
-                Err(_) => *pending = Vec::new(), // The reader finds the break too.
+                Ok(sent) => {
+                    pending.drain(..sent);
+                }
+                Err(_) => *pending = Vec::new(), // The reader finds the failure too.
             }
         }
-        pending.shrink_to(0); // An idle connection keeps nothing.
+        pending.shrink_to(0); // An idle connection holds no memory.
         true
     }
 }
