HTTP: one error enum in place of text and status, heads and bodies read in steps

Texts, statuses and Display are as before. Body::done is is_complete, may_close is may_end_at_close, MOST_* are MAX_*. The tests take status() in place of the field.

--- a/crates/daemon/src/players.rs
+++ b/crates/daemon/src/players.rs
@@ -80,7 +80,7 @@
             Ok((request, _)) => request,
             Err(ExchangeError::Bad(bad)) => {
                 let problem =
-                    Problem::of(bad.status, bad.what).response(&[("connection", "close")]);
+                    Problem::of(bad.status(), bad.detail()).response(&[("connection", "close")]);
                 let _ = socket.write_all(&problem); // Broken: it is over all the same.
                 return socket.finish(LINGER);
             }
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,150 +1,198 @@
-//! Bodies, read piece by piece as they come.
-use crate::head::{Bad, Framing};
+//! Bodies, read incrementally as they arrive.
+use crate::head::Framing;
+use crate::HttpError;
 
 /// Reads a body by its framing.
 #[derive(Clone, Debug)]
 pub struct Body {
     state: State,
-    most: u64,
-    read: u64,
+    /// Bytes that are allowed.
+    max_bytes: u64,
+    /// Bytes so far; only counted for framings that do not state the length up front.
+    received_bytes: u64,
 }
 
 #[derive(Clone, Debug, PartialEq)]
 enum State {
+    /// In a body of known length, of which so many bytes remain.
     Length(u64),
+    /// In a body that ends with the connection.
     UntilClose,
-    Size(Vec<u8>), // The line that holds a chunk's size, as far as it came.
+    /// In the line with a chunk's size, of which these bytes were received.
+    ChunkSize(Vec<u8>),
+    /// In a chunk of which so many bytes remain.
     Chunk(u64),
-    ChunkEnd(u8),
+    /// In the CRLF after a chunk, of which so many bytes were received.
+    ChunkEnd(usize),
+    /// In a line after the last chunk, of which these bytes were received.
     Trailer(Vec<u8>),
+    /// The body is complete.
     Done,
 }
 
-/// Bytes of a chunk's size line or of a trailer line at most.
-const MOST_LINE: usize = 1024;
+const CRLF: &[u8] = b"\r\n";
+/// Longest line that holds a chunk's size or a trailer field, in bytes.
+pub const MAX_LINE_BYTES: usize = 1024;
+/// Most digits of a chunk's size: a number with more might not fit 64 bits.
+const MAX_SIZE_DIGITS: usize = 15;
 
 impl Body {
-    /// A body of at most `most` bytes.
+    /// A body of at most `max_bytes` bytes.
     ///
     /// # Errors
-    /// The stated length is over that.
-    pub fn new(framing: Framing, most: u64) -> Result<Body, Bad> {
+    /// [`HttpError::BodyTooLarge`]: the stated length is larger.
+    pub fn new(framing: Framing, max_bytes: u64) -> Result<Body, HttpError> {
         let state = match framing {
             Framing::Length(0) => State::Done,
-            Framing::Length(n) if n > most => return Err(too_large(most)),
-            Framing::Length(n) => State::Length(n),
+            Framing::Length(length) if length > max_bytes => {
+                return Err(HttpError::BodyTooLarge { max: max_bytes })
+            }
+            Framing::Length(length) => State::Length(length),
             Framing::UntilClose => State::UntilClose,
-            Framing::Chunked => State::Size(Vec::new()),
+            Framing::Chunked => State::ChunkSize(Vec::new()),
         };
         Ok(Body {
             state,
-            most,
-            read: 0,
+            max_bytes,
+            received_bytes: 0,
         })
     }
 
-    /// Whether all of it was read. A body until close never says so.
-    pub fn done(&self) -> bool {
+    /// Whether the body was read completely; never the case for a body until close.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
         self.state == State::Done
     }
 
-    /// Whether the end of the connection ends it well.
-    pub fn may_close(&self) -> bool {
+    /// Whether the body is complete if the connection ends now.
+    #[must_use]
+    pub fn may_end_at_close(&self) -> bool {
         matches!(self.state, State::Done | State::UntilClose)
     }
 
-    /// Takes what it can of `input`, adds its data to `data`, and says how many bytes it took.
+    /// Consumes bytes of `input` up to the body's end, appends the body's data to `data`, and returns how many bytes were
+    /// consumed.
     ///
     /// # Errors
     /// The body is malformed or larger than allowed.
-    pub fn feed(&mut self, input: &[u8], data: &mut Vec<u8>) -> Result<usize, Bad> {
-        let mut at = 0;
-        while at < input.len() && self.state != State::Done {
-            let rest = &input[at..];
-            match &mut self.state {
-                State::Length(left) | State::Chunk(left) => {
-                    let n = rest.len().min(usize::try_from(*left).unwrap_or(usize::MAX));
-                    data.extend_from_slice(&rest[..n]);
-                    at += n;
-                    *left -= n as u64;
-                    if *left == 0 {
-                        let chunked = matches!(self.state, State::Chunk(_));
-                        self.state = if chunked {
-                            State::ChunkEnd(0)
-                        } else {
-                            State::Done
-                        };
-                    }
+    pub fn feed(&mut self, input: &[u8], data: &mut Vec<u8>) -> Result<usize, HttpError> {
+        let mut consumed = 0;
+        while consumed < input.len() && !self.is_complete() {
+            consumed += self.feed_part(&input[consumed..], data)?;
+        }
+        Ok(consumed)
+    }
+
+    /// Consumes bytes within the current state; `input` is not empty.
+    fn feed_part(&mut self, input: &[u8], data: &mut Vec<u8>) -> Result<usize, HttpError> {
+        match &mut self.state {
+            State::Length(remaining) => {
+                let consumed = take_data(remaining, input, data);
+                if *remaining == 0 {
+                    self.state = State::Done;
                 }
-                State::UntilClose => {
-                    self.read += rest.len() as u64;
-                    if self.read > self.most {
-                        return Err(too_large(self.most));
-                    }
-                    data.extend_from_slice(rest);
-                    at = input.len();
+                Ok(consumed)
+            }
+            State::Chunk(remaining) => {
+                let consumed = take_data(remaining, input, data);
+                if *remaining == 0 {
+                    self.state = State::ChunkEnd(0);
+                }
+                Ok(consumed)
+            }
+            State::ChunkEnd(received) => {
+                if is_chunk_end_complete(received, input[0])? {
+                    self.state = State::ChunkSize(Vec::new());
                 }
-                State::ChunkEnd(seen) => {
-                    if rest[0] != b"\r\n"[usize::from(*seen)] {
-                        return Err(Bad::request(
-                            "a chunk that does not end where its size says",
-                        ));
-                    }
-                    at += 1;
-                    self.state = if *seen == 0 {
-                        State::ChunkEnd(1)
+                Ok(1)
+            }
+            State::UntilClose => {
+                self.count_received(input.len() as u64)?;
+                data.extend_from_slice(input);
+                Ok(input.len())
+            }
+            State::ChunkSize(line) => {
+                if push_to_line(line, input[0])? {
+                    let size = parse_chunk_size(line)?;
+                    self.begin_chunk(size)?;
+                }
+                Ok(1)
+            }
+            State::Trailer(line) => {
+                if push_to_line(line, input[0])? {
+                    let is_empty = line.as_slice() == CRLF;
+                    self.state = if is_empty {
+                        State::Done
                     } else {
-                        State::Size(Vec::new())
+                        State::Trailer(Vec::new())
                     };
                 }
-                State::Size(line) | State::Trailer(line) => {
-                    line.push(rest[0]);
-                    at += 1;
-                    if line.len() > MOST_LINE {
-                        return Err(Bad::request("a chunk line without end"));
-                    }
-                    if line.ends_with(b"\r\n") {
-                        let line = std::mem::take(line);
-                        self.state = self.after_line(&line[..line.len() - 2])?;
-                    }
-                }
-                State::Done => {}
+                Ok(1)
             }
+            State::Done => Ok(0),
         }
-        Ok(at)
     }
 
-    fn after_line(&mut self, line: &[u8]) -> Result<State, Bad> {
-        if matches!(self.state, State::Trailer(_)) {
-            return Ok(if line.is_empty() {
-                State::Done
-            } else {
-                State::Trailer(Vec::new())
-            });
-        }
-        let size = line.split(|b| *b == b';').next().unwrap_or(line);
-        let text = std::str::from_utf8(size).unwrap_or("").trim_end();
-        let hex =
-            !text.is_empty() && text.len() <= 15 && text.bytes().all(|b| b.is_ascii_hexdigit());
-        let size = u64::from_str_radix(text, 16).ok().filter(|_| hex);
-        let size = size.ok_or_else(|| Bad::request("a chunk whose size is no number"))?;
-        self.read = self.read.saturating_add(size);
-        if self.read > self.most {
-            return Err(too_large(self.most));
-        }
-        Ok(if size == 0 {
+    fn begin_chunk(&mut self, size: u64) -> Result<(), HttpError> {
+        self.count_received(size)?;
+        self.state = if size == 0 {
             State::Trailer(Vec::new())
         } else {
             State::Chunk(size)
-        })
+        };
+        Ok(())
+    }
+
+    fn count_received(&mut self, bytes: u64) -> Result<(), HttpError> {
+        self.received_bytes = self.received_bytes.saturating_add(bytes);
+        if self.received_bytes > self.max_bytes {
+            return Err(HttpError::BodyTooLarge {
+                max: self.max_bytes,
+            });
+        }
+        Ok(())
+    }
+}
+
+/// Moves at most `remaining` bytes of `input` to `data`; returns how many.
+fn take_data(remaining: &mut u64, input: &[u8], data: &mut Vec<u8>) -> usize {
+    let count = input
+        .len()
+        .min(usize::try_from(*remaining).unwrap_or(usize::MAX));
+    data.extend_from_slice(&input[..count]);
+    *remaining -= count as u64;
+    count
+}
+
+/// Checks a byte of the CRLF after a chunk; true if that is complete.
+fn is_chunk_end_complete(received: &mut usize, byte: u8) -> Result<bool, HttpError> {
+    if byte != CRLF[*received] {
+        return Err(HttpError::ChunkEnd);
+    }
+    *received += 1;
+    Ok(*received == CRLF.len())
+}
+
+/// Appends a byte to a line; true if the line is complete.
+fn push_to_line(line: &mut Vec<u8>, byte: u8) -> Result<bool, HttpError> {
+    line.push(byte);
+    if line.len() > MAX_LINE_BYTES {
+        return Err(HttpError::ChunkLineTooLong);
     }
+    Ok(line.ends_with(CRLF))
 }
 
-fn too_large(most: u64) -> Bad {
-    Bad {
-        status: 413,
-        what: format!("a body of more than {most} bytes"),
+/// The size in a chunk's first line, which may also hold extensions.
+fn parse_chunk_size(line: &[u8]) -> Result<u64, HttpError> {
+    let line = line.strip_suffix(CRLF).unwrap_or(line);
+    let size = line.split(|byte| *byte == b';').next().unwrap_or(line);
+    let digits = std::str::from_utf8(size).unwrap_or("").trim_end();
+    // `from_str_radix` would accept a sign.
+    let is_hexadecimal = digits.bytes().all(|byte| byte.is_ascii_hexdigit());
+    if digits.is_empty() || digits.len() > MAX_SIZE_DIGITS || !is_hexadecimal {
+        return Err(HttpError::ChunkSize);
     }
+    u64::from_str_radix(digits, 16).map_err(|_| HttpError::ChunkSize)
 }
 
 #[cfg(test)]
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -1,37 +1,15 @@
-//! Heads of requests and responses, and the framing that they state.
+//! Heads of requests and responses, and the framing of the bodies that they announce.
+use crate::HttpError;
 use std::fmt::Write;
 
-/// Fields of a head at most.
-pub const MOST_FIELDS: usize = 64;
-/// Bytes of a head at most.
-pub const MOST_HEAD: usize = 16 * 1024;
+/// Most fields of a head.
+pub const MAX_FIELDS: usize = 64;
+/// Longest head in bytes.
+pub const MAX_HEAD_BYTES: usize = 16 * 1024;
 
-/// A message that can't be taken; `status` is what a server answers it with.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Bad {
-    /// 400, 413, 414, 431, 501 or 505.
-    pub status: u16,
-    /// What is wrong with it.
-    pub what: String,
-}
-
-impl Bad {
-    /// A message that is malformed.
-    pub fn request(what: impl Into<String>) -> Bad {
-        Bad {
-            status: 400,
-            what: what.into(),
-        }
-    }
-}
-
-impl std::fmt::Display for Bad {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{} ({})", self.what, self.status)
-    }
-}
-
-impl std::error::Error for Bad {}
+const SWITCHING_PROTOCOLS: u16 = 101;
+const NO_CONTENT: u16 = 204;
+const NOT_MODIFIED: u16 = 304;
 
 /// Header fields in the order of the wire.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -39,39 +17,78 @@
 
 impl Fields {
     /// The first value of a field; names are compared without case.
+    #[must_use]
     pub fn get(&self, name: &str) -> Option<&str> {
-        self.0
+        let field = self
+            .0
             .iter()
-            .find(|(n, _)| n.eq_ignore_ascii_case(name))
-            .map(|(_, v)| v.as_str())
+            .find(|(other, _)| other.eq_ignore_ascii_case(name));
+        field.map(|(_, value)| value.as_str())
     }
 
     /// Every value of a field.
     pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> + 'a {
         self.0
             .iter()
-            .filter(move |(n, _)| n.eq_ignore_ascii_case(name))
-            .map(|(_, v)| v.as_str())
+            .filter(move |(other, _)| other.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
     }
 
-    /// Whether a comma-separated field holds a word, compared without case.
+    /// Whether a comma-separated field has this member, compared without case.
+    #[must_use]
     pub fn has_word(&self, name: &str, word: &str) -> bool {
         self.all(name)
-            .flat_map(|v| v.split(','))
-            .any(|w| w.trim().eq_ignore_ascii_case(word))
+            .flat_map(|value| value.split(','))
+            .any(|member| member.trim().eq_ignore_ascii_case(word))
     }
 
-    fn read(fields: &[httparse::Header<'_>]) -> Result<Fields, Bad> {
-        let text = |f: &httparse::Header<'_>| {
-            let value = std::str::from_utf8(f.value)
-                .map_err(|_| Bad::request("a field that is not UTF-8"))?;
-            Ok((f.name.to_owned(), value.trim().to_owned()))
-        };
-        fields
-            .iter()
-            .map(text)
-            .collect::<Result<_, _>>()
-            .map(Fields)
+    fn read(headers: &[httparse::Header<'_>]) -> Result<Fields, HttpError> {
+        let mut fields = Vec::with_capacity(headers.len());
+        for header in headers {
+            let value = std::str::from_utf8(header.value).map_err(|_| HttpError::FieldNotUtf8)?;
+            fields.push((header.name.to_owned(), value.trim().to_owned()));
+        }
+        Ok(Fields(fields))
+    }
+
+    /// Whether a connection with a message of this minor version and these fields may carry another one.
+    fn keep_alive(&self, minor: u8) -> bool {
+        if minor == 0 {
+            self.has_word("connection", "keep-alive")
+        } else {
+            !self.has_word("connection", "close")
+        }
+    }
+
+    /// The framing that the fields state; `None` where they state none.
+    fn framing(&self) -> Result<Option<Framing>, HttpError> {
+        let mut lengths = self.all("content-length");
+        let length = lengths.next();
+        let lengths_differ = lengths.any(|other| Some(other) != length);
+        let codings: Vec<&str> = self.all("transfer-encoding").collect();
+        if lengths_differ || length.is_some() && !codings.is_empty() {
+            return Err(HttpError::ContradictoryFraming);
+        }
+        if !codings.is_empty() {
+            return parse_codings(&codings).map(Some);
+        }
+        length.map(parse_content_length).transpose()
+    }
+}
+
+fn parse_codings(codings: &[&str]) -> Result<Framing, HttpError> {
+    match codings {
+        [coding] if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
+        _ => Err(HttpError::UnsupportedCoding(codings.join(", "))),
+    }
+}
+
+fn parse_content_length(value: &str) -> Result<Framing, HttpError> {
+    // `parse` would accept a sign.
+    let is_decimal = value.bytes().all(|byte| byte.is_ascii_digit());
+    match value.parse() {
+        Ok(length) if is_decimal => Ok(Framing::Length(length)),
+        _ => Err(HttpError::ContentLength(value.to_owned())),
     }
 }
 
@@ -82,7 +99,7 @@
     pub method: String,
     /// Its target as sent.
     pub target: String,
-    /// Minor version: 0 or 1.
+    /// Minor version of HTTP: 0 or 1.
     pub minor: u8,
     /// Its fields.
     pub fields: Fields,
@@ -93,61 +110,53 @@
 pub struct Response {
     /// Its status.
     pub status: u16,
-    /// Minor version: 0 or 1.
+    /// Minor version of HTTP: 0 or 1.
     pub minor: u8,
     /// Its fields.
     pub fields: Fields,
 }
 
-/// How a body ends.
+/// How the end of a body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
-    /// After so many bytes.
+    /// By its length in bytes.
     Length(u64),
     /// By its last chunk.
     Chunked,
-    /// With the connection.
+    /// By the end of the connection.
     UntilClose,
 }
 
-fn refused(e: httparse::Error) -> Bad {
-    match e {
-        httparse::Error::TooManyHeaders => Bad {
-            status: 431,
-            what: format!("more than {MOST_FIELDS} fields"),
-        },
-        httparse::Error::Version => Bad {
-            status: 505,
-            what: "not HTTP/1.0 or HTTP/1.1".into(),
-        },
-        other => Bad::request(other.to_string()),
-    }
+/// The part of `buffer` that a head may use.
+fn head_bytes(buffer: &[u8]) -> &[u8] {
+    &buffer[..buffer.len().min(MAX_HEAD_BYTES)]
 }
 
-fn too_long(buffer: &[u8]) -> Result<(), Bad> {
-    if buffer.len() > MOST_HEAD {
-        return Err(Bad {
-            status: 431,
-            what: format!("a head of more than {MOST_HEAD} bytes"),
-        });
+/// The length of a parsed head; `None` where `buffer` does not hold a complete one.
+fn head_length(parsed: httparse::Result<usize>, buffer: &[u8]) -> Result<Option<usize>, HttpError> {
+    match parsed {
+        Ok(httparse::Status::Complete(length)) => Ok(Some(length)),
+        Ok(httparse::Status::Partial) if buffer.len() > MAX_HEAD_BYTES => {
+            Err(HttpError::HeadTooLong)
+        }
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(httparse::Error::TooManyHeaders) => Err(HttpError::TooManyFields),
+        Err(httparse::Error::Version) => Err(HttpError::UnsupportedVersion),
+        Err(other) => Err(HttpError::Head(other)),
     }
-    Ok(())
 }
 
 impl Request {
-    /// The head at the start of `buffer` and its length; `None` while it is not whole.
+    /// The head at the start of `buffer` and its length; `None` while it is incomplete.
     ///
     /// # Errors
     /// It is malformed or too long.
-    pub fn parse(buffer: &[u8]) -> Result<Option<(Request, usize)>, Bad> {
-        let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
-        let mut head = httparse::Request::new(&mut fields);
-        let length = match head
-            .parse(&buffer[..buffer.len().min(MOST_HEAD)])
-            .map_err(refused)?
-        {
-            httparse::Status::Partial => return too_long(buffer).map(|()| None),
-            httparse::Status::Complete(length) => length,
+    pub fn parse(buffer: &[u8]) -> Result<Option<(Request, usize)>, HttpError> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut head = httparse::Request::new(&mut headers);
+        let parsed = head.parse(head_bytes(buffer));
+        let Some(length) = head_length(parsed, buffer)? else {
+            return Ok(None);
         };
         let request = Request {
             method: head.method.unwrap_or("").to_owned(),
@@ -155,120 +164,84 @@
             minor: head.version.unwrap_or(1),
             fields: Fields::read(head.headers)?,
         };
-        let hosts = request.fields.all("host").count();
-        // RFC 9112, 3.2: exactly one Host field in HTTP/1.1.
-        if hosts > 1 || request.minor == 1 && hosts == 0 {
-            return Err(Bad::request("one Host field is needed"));
-        }
+        request.check_host()?;
         Ok(Some((request, length)))
     }
 
-    /// How its body ends. Danger: two readings of one length smuggle a second request past whoever reads it the
-    /// other way (RFC 9112, 6.3); both fields together are refused.
+    /// RFC 9112, 3.2: exactly one Host field in HTTP/1.1, at most one in HTTP/1.0.
+    fn check_host(&self) -> Result<(), HttpError> {
+        let hosts = self.fields.all("host").count();
+        if hosts > 1 || self.minor == 1 && hosts == 0 {
+            return Err(HttpError::HostField);
+        }
+        Ok(())
+    }
+
+    /// How its body is framed.
+    ///
+    /// Why both fields together are rejected: a length that can be read in two ways smuggles a second request past
+    /// whoever reads it the other way (RFC 9112, 6.3).
     ///
     /// # Errors
-    /// Fields that contradict each other or an unknown coding.
-    pub fn framing(&self) -> Result<Framing, Bad> {
-        match framing(&self.fields)? {
-            Some(framing) => Ok(framing),
-            None => Ok(Framing::Length(0)),
-        }
+    /// Fields that contradict each other or an unsupported coding.
+    pub fn framing(&self) -> Result<Framing, HttpError> {
+        Ok(self.fields.framing()?.unwrap_or(Framing::Length(0)))
     }
 
     /// Whether the connection may carry another request after this one.
+    #[must_use]
     pub fn keeps_alive(&self) -> bool {
-        keeps_alive(&self.fields, self.minor)
+        self.fields.keep_alive(self.minor)
     }
 
     /// The target's path and query.
+    #[must_use]
     pub fn path(&self) -> (&str, &str) {
         self.target.split_once('?').unwrap_or((&self.target, ""))
     }
 }
 
 impl Response {
-    /// The head at the start of `buffer` and its length; `None` while it is not whole.
+    /// The head at the start of `buffer` and its length; `None` while it is incomplete.
     ///
     /// # Errors
     /// It is malformed or too long.
-    pub fn parse(buffer: &[u8]) -> Result<Option<(Response, usize)>, Bad> {
-        let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
-        let mut head = httparse::Response::new(&mut fields);
-        let length = match head
-            .parse(&buffer[..buffer.len().min(MOST_HEAD)])
-            .map_err(refused)?
-        {
-            httparse::Status::Partial => return too_long(buffer).map(|()| None),
-            httparse::Status::Complete(length) => length,
+    pub fn parse(buffer: &[u8]) -> Result<Option<(Response, usize)>, HttpError> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut head = httparse::Response::new(&mut headers);
+        let parsed = head.parse(head_bytes(buffer));
+        let Some(length) = head_length(parsed, buffer)? else {
+            return Ok(None);
+        };
+        let response = Response {
+            status: head.code.unwrap_or(0),
+            minor: head.version.unwrap_or(1),
+            fields: Fields::read(head.headers)?,
         };
-        let fields = Fields::read(head.headers)?;
-        Ok(Some((
-            Response {
-                status: head.code.unwrap_or(0),
-                minor: head.version.unwrap_or(1),
-                fields,
-            },
-            length,
-        )))
+        Ok(Some((response, length)))
     }
 
-    /// How the body of an answer to anything but HEAD ends.
+    /// How its body is framed, for a response to any method but HEAD.
     ///
     /// # Errors
-    /// Fields that contradict each other or an unknown coding.
-    pub fn framing(&self) -> Result<Framing, Bad> {
-        if self.status < 200 || self.status == 204 || self.status == 304 {
+    /// Fields that contradict each other or an unsupported coding.
+    pub fn framing(&self) -> Result<Framing, HttpError> {
+        let is_interim = self.status < 200;
+        if is_interim || self.status == NO_CONTENT || self.status == NOT_MODIFIED {
             return Ok(Framing::Length(0));
         }
-        Ok(framing(&self.fields)?.unwrap_or(Framing::UntilClose))
+        Ok(self.fields.framing()?.unwrap_or(Framing::UntilClose))
     }
 
-    /// Whether the connection may carry another request after this answer.
+    /// Whether the connection may carry another request after this response.
+    #[must_use]
     pub fn keeps_alive(&self) -> bool {
-        keeps_alive(&self.fields, self.minor) && self.framing() != Ok(Framing::UntilClose)
-    }
-}
-
-fn keeps_alive(fields: &Fields, minor: u8) -> bool {
-    if minor == 0 {
-        fields.has_word("connection", "keep-alive")
-    } else {
-        !fields.has_word("connection", "close")
-    }
-}
-
-fn framing(fields: &Fields) -> Result<Option<Framing>, Bad> {
-    let mut lengths = fields.all("content-length");
-    let codings: Vec<&str> = fields.all("transfer-encoding").collect();
-    let length = lengths.next();
-    if lengths.any(|l| Some(l) != length) || length.is_some() && !codings.is_empty() {
-        return Err(Bad::request(
-            "fields that contradict each other on the body's length",
-        ));
-    }
-    if !codings.is_empty() {
-        let chunked = codings.len() == 1 && codings[0].eq_ignore_ascii_case("chunked");
-        let unknown = Bad {
-            status: 501,
-            what: format!("transfer coding {:?}", codings.join(", ")),
-        };
-        return if chunked {
-            Ok(Some(Framing::Chunked))
-        } else {
-            Err(unknown)
-        };
+        self.fields.keep_alive(self.minor) && self.framing() != Ok(Framing::UntilClose)
     }
-    let Some(length) = length else {
-        return Ok(None);
-    };
-    let digits = !length.is_empty() && length.bytes().all(|b| b.is_ascii_digit());
-    let parsed = length.parse().ok().filter(|_| digits);
-    parsed
-        .map(|n| Some(Framing::Length(n)))
-        .ok_or_else(|| Bad::request(format!("content-length {length:?}")))
 }
 
-/// The usual reason phrase of a status; empty for others.
+/// The standard reason phrase of a status; empty for statuses that are not used here.
+#[must_use]
 pub fn reason(status: u16) -> &'static str {
     match status {
         101 => "Switching Protocols",
@@ -293,14 +266,19 @@
     }
 }
 
-/// A whole response: head with the given fields and, for a body that ends by length, the body.
-pub fn response(status: u16, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
-    let mut head = format!("HTTP/1.1 {status} {}\r\n", reason(status));
+/// The bytes of a message: its start line, fields, content-length if one is given, and body.
+fn message(
+    start_line: &str,
+    fields: &[(&str, &str)],
+    content_length: Option<usize>,
+    body: &[u8],
+) -> Vec<u8> {
+    let mut head = format!("{start_line}\r\n");
     for (name, value) in fields {
-        let _ = write!(head, "{name}: {value}\r\n");
+        let _ = write!(head, "{name}: {value}\r\n"); // Writing to a String never fails.
     }
-    if status != 101 && status != 204 {
-        let _ = write!(head, "content-length: {}\r\n", body.len());
+    if let Some(length) = content_length {
+        let _ = write!(head, "content-length: {length}\r\n");
     }
     head.push_str("\r\n");
     let mut bytes = head.into_bytes();
@@ -308,7 +286,17 @@
     bytes
 }
 
-/// A whole request with a body that ends by length; none is stated where there is none.
+/// A complete response with the given fields; its content-length is stated unless its status allows no body.
+#[must_use]
+pub fn response(status: u16, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let start_line = format!("HTTP/1.1 {status} {}", reason(status));
+    let has_length = status != SWITCHING_PROTOCOLS && status != NO_CONTENT;
+    let content_length = has_length.then_some(body.len());
+    message(&start_line, fields, content_length, body)
+}
+
+/// A complete request with the given fields; its content-length is stated unless its body is empty.
+#[must_use]
 pub fn request(
     method: &str,
     target: &str,
@@ -316,17 +304,11 @@
     fields: &[(&str, &str)],
     body: &[u8],
 ) -> Vec<u8> {
-    let mut head = format!("{method} {target} HTTP/1.1\r\nhost: {host}\r\n");
-    for (name, value) in fields {
-        let _ = write!(head, "{name}: {value}\r\n");
-    }
-    if !body.is_empty() {
-        let _ = write!(head, "content-length: {}\r\n", body.len());
-    }
-    head.push_str("\r\n");
-    let mut bytes = head.into_bytes();
-    bytes.extend_from_slice(body);
-    bytes
+    let start_line = format!("{method} {target} HTTP/1.1");
+    let mut all_fields = vec![("host", host)];
+    all_fields.extend_from_slice(fields);
+    let content_length = (!body.is_empty()).then_some(body.len());
+    message(&start_line, &all_fields, content_length, body)
 }
 
 #[cfg(test)]
--- a/crates/http/src/head/tests.rs
+++ b/crates/http/src/head/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-fn framed(fields: &str) -> Result<Framing, Bad> {
+fn framed(fields: &str) -> Result<Framing, HttpError> {
     let text = format!("POST /x HTTP/1.1\r\nhost: a\r\n{fields}\r\n");
     Request::parse(text.as_bytes())
         .unwrap()
@@ -10,7 +10,7 @@
 }
 
 #[test]
-fn bodies_are_framed_one_way_or_refused() {
+fn bodies_are_framed_unambiguously_or_rejected() {
     assert_eq!(framed(""), Ok(Framing::Length(0)));
     assert_eq!(framed("content-length: 7\r\n"), Ok(Framing::Length(7)));
     assert_eq!(
@@ -29,12 +29,12 @@
         ("content-length: 99999999999999999999\r\n", 400),
         ("transfer-encoding: gzip, chunked\r\n", 501),
     ] {
-        assert_eq!(framed(fields).unwrap_err().status, status, "{fields}");
+        assert_eq!(framed(fields).unwrap_err().status(), status, "{fields}");
     }
 }
 
 #[test]
-fn malformed_heads_are_refused_with_their_status() {
+fn malformed_heads_are_rejected_with_their_status() {
     for (text, status) in [
         ("GET / HTTP/1.1\r\n\r\n", 400),
         ("GET / HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n", 400),
@@ -43,23 +43,26 @@
         ("\x01\x02 garbage\r\n\r\n", 400),
     ] {
         assert_eq!(
-            Request::parse(text.as_bytes()).unwrap_err().status,
+            Request::parse(text.as_bytes()).unwrap_err().status(),
             status,
             "{text:?}"
         );
     }
     let many = format!(
         "GET / HTTP/1.1\r\nhost: a\r\n{}\r\n",
-        "x: y\r\n".repeat(MOST_FIELDS)
+        "x: y\r\n".repeat(MAX_FIELDS)
     );
-    assert_eq!(Request::parse(many.as_bytes()).unwrap_err().status, 431);
-    let long = format!("GET / HTTP/1.1\r\nhost: a\r\nx: {}", "y".repeat(MOST_HEAD));
-    assert_eq!(Request::parse(long.as_bytes()).unwrap_err().status, 431);
+    assert_eq!(Request::parse(many.as_bytes()).unwrap_err().status(), 431);
+    let long = format!(
+        "GET / HTTP/1.1\r\nhost: a\r\nx: {}",
+        "y".repeat(MAX_HEAD_BYTES)
+    );
+    assert_eq!(Request::parse(long.as_bytes()).unwrap_err().status(), 431);
     assert_eq!(Request::parse(b"GET / HT"), Ok(None));
 }
 
 #[test]
-fn connections_are_kept_as_the_version_says() {
+fn keep_alive_follows_the_version_and_the_connection_field() {
     let keeps = |text: &str| {
         Request::parse(text.as_bytes())
             .unwrap()
--- a/crates/http/src/orca/tests.rs
+++ b/crates/http/src/orca/tests.rs
@@ -1,11 +1,10 @@
 use super::*;
 
 #[test]
-fn both_forms_say_the_same() {
+fn both_forms_hold_the_same_metrics() {
     let text = parse("TEXT cpu_utilization=0.3, named_metrics.link_asked=1.25").unwrap();
-    let json =
-        parse(r#"JSON {"cpu_utilization":0.3,"named_metrics":{"link_asked":1.25},"x":"y"}"#)
-            .unwrap();
+    let json = parse(r#"JSON {"cpu_utilization":0.3,"named_metrics":{"link_asked":1.25},"x":"y"}"#)
+        .unwrap();
     assert_eq!(
         text,
         [
@@ -21,7 +20,7 @@
 }
 
 #[test]
-fn what_is_no_report_is_said() {
+fn malformed_reports_are_errors() {
     for text in ["BIN AAAA", "TEXT a", "TEXT a=x", "TEXT a=inf", "JSON {", ""] {
         assert!(parse(text).is_err(), "{text}");
     }
--- a/crates/http/src/problem.rs
+++ b/crates/http/src/problem.rs
@@ -1,9 +1,9 @@
-//! Errors as problem details (RFC 9457).
+//! Errors as problem details (RFC 9457). The doc comments of [`Problem`] are part of the published API descriptions.
 use crate::head;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-/// Media type of a problem.
+/// Media type of a problem's JSON.
 pub const MEDIA_TYPE: &str = "application/problem+json";
 
 /// A problem.
@@ -27,30 +27,34 @@
     pub retry_after_ms: Option<u64>,
 }
 
+/// The type of a problem that says no more than its status.
 fn blank() -> String {
     "about:blank".into()
 }
 
 impl Problem {
-    /// A problem that the status tells.
+    /// A problem without a type of its own: its title is the status's reason phrase.
+    #[must_use]
     pub fn of(status: u16, detail: impl Into<String>) -> Problem {
-        let title = head::reason(status).to_owned();
         Problem {
             kind: blank(),
-            title,
+            title: head::reason(status).to_owned(),
             status,
             detail: detail.into(),
             retry_after_ms: None,
         }
     }
 
-    /// The whole response; `fields` are added to it.
+    /// The complete response, with `fields` in addition to its own; Retry-After is rounded up to seconds.
+    #[must_use]
     pub fn response(&self, fields: &[(&str, &str)]) -> Vec<u8> {
         let body = serde_json::to_vec(self).unwrap_or_default();
-        let seconds = self.retry_after_ms.map(|ms| ms.div_ceil(1000).to_string());
-        let mut all = vec![("content-type", MEDIA_TYPE)];
-        all.extend(seconds.as_deref().map(|s| ("retry-after", s)));
-        all.extend_from_slice(fields);
-        head::response(self.status, &all, &body)
+        let retry_after = self.retry_after_ms.map(|ms| ms.div_ceil(1000).to_string());
+        let mut all_fields = vec![("content-type", MEDIA_TYPE)];
+        if let Some(seconds) = &retry_after {
+            all_fields.push(("retry-after", seconds));
+        }
+        all_fields.extend_from_slice(fields);
+        head::response(self.status, &all_fields, &body)
     }
 }
--- a/crates/http/src/sse.rs
+++ b/crates/http/src/sse.rs
@@ -1,4 +1,5 @@
-//! Server-sent events as the HTML standard has them: read from any pieces, written whole.
+//! Server-sent events as the HTML standard specifies them: read incrementally, written complete.
+use crate::HttpError;
 
 /// One event.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -7,89 +8,110 @@
     pub name: String,
     /// Its data, lines joined by newlines.
     pub data: String,
-    /// The last id that the stream gave, for a call that goes on behind it.
+    /// The last id of the stream so far, with which a client resumes the stream.
     pub id: String,
 }
 
-/// Bytes of one event at most: a server that never ends a line must not fill the memory.
-pub const MOST_EVENT: usize = 4 << 20;
+/// Largest event in bytes: a server that never ends a line must not fill the memory.
+pub const MAX_EVENT_BYTES: usize = 4 << 20;
+
+/// The comment that a server sends to show that the stream is alive.
+pub const HEARTBEAT: &[u8] = b":\n\n";
+
+const BYTE_ORDER_MARK: char = '\u{feff}';
 
 /// Reads a stream.
 #[derive(Clone, Debug, Default)]
 pub struct Reader {
+    /// The current line so far.
     line: Vec<u8>,
-    after_cr: bool,
-    begun: bool,
-    name: String,
-    data: String,
-    id: String,
-    size: usize,
+    /// Whether the last byte was a carriage return: a newline that follows belongs to the same line end.
+    after_carriage_return: bool,
+    /// Whether the first line was read: only that may begin with a byte order mark.
+    first_line_read: bool,
+    /// The current event so far, its data with a newline after each line.
+    event: Event,
+    /// Bytes of the current event, without comments.
+    event_bytes: usize,
 }
 
 impl Reader {
-    /// Takes bytes and adds the events that are whole to `events`.
+    /// Consumes bytes and appends the completed events to `events`.
     ///
     /// # Errors
-    /// An event is larger than [`MOST_EVENT`].
-    pub fn feed(&mut self, bytes: &[u8], events: &mut Vec<Event>) -> Result<(), String> {
+    /// [`HttpError::EventTooLarge`]: an event is larger than [`MAX_EVENT_BYTES`].
+    pub fn feed(&mut self, bytes: &[u8], events: &mut Vec<Event>) -> Result<(), HttpError> {
         for &byte in bytes {
-            let feed_after_return = self.after_cr && byte == b'\n';
-            self.after_cr = byte == b'\r';
-            if feed_after_return {
-                continue;
-            }
-            if byte == b'\r' || byte == b'\n' {
-                let line = std::mem::take(&mut self.line);
-                self.take(&String::from_utf8_lossy(&line), events);
-            } else {
-                self.line.push(byte);
-                self.size += 1;
-                if self.size > MOST_EVENT {
-                    return Err(format!("an event of more than {MOST_EVENT} bytes"));
-                }
-            }
+            self.feed_byte(byte, events)?;
+        }
+        Ok(())
+    }
+
+    fn feed_byte(&mut self, byte: u8, events: &mut Vec<Event>) -> Result<(), HttpError> {
+        let ends_previous_line = self.after_carriage_return && byte == b'\n';
+        self.after_carriage_return = byte == b'\r';
+        if ends_previous_line {
+            return Ok(());
+        }
+        if byte == b'\r' || byte == b'\n' {
+            let line = std::mem::take(&mut self.line);
+            self.handle_line(&String::from_utf8_lossy(&line), events);
+            return Ok(());
+        }
+        self.line.push(byte);
+        self.event_bytes += 1;
+        if self.event_bytes > MAX_EVENT_BYTES {
+            return Err(HttpError::EventTooLarge);
         }
         Ok(())
     }
 
-    fn take(&mut self, line: &str, events: &mut Vec<Event>) {
-        let line = if self.begun {
-            line
-        } else {
-            line.strip_prefix('\u{feff}').unwrap_or(line)
-        };
-        self.begun = true;
+    fn handle_line(&mut self, line: &str, events: &mut Vec<Event>) {
+        let line = self.strip_byte_order_mark(line);
         if line.is_empty() {
-            let (name, data) = (
-                std::mem::take(&mut self.name),
-                std::mem::take(&mut self.data),
-            );
-            self.size = 0;
-            if let Some(data) = data.strip_suffix('\n') {
-                events.push(Event {
-                    name,
-                    data: data.to_owned(),
-                    id: self.id.clone(),
-                });
-            }
+            self.complete_event(events);
             return;
         }
         let (field, value) = line.split_once(':').unwrap_or((line, ""));
         let value = value.strip_prefix(' ').unwrap_or(value);
         match field {
-            "event" => self.name = value.to_owned(),
+            "event" => self.event.name = value.to_owned(),
             "data" => {
-                self.data.push_str(value);
-                self.data.push('\n');
+                self.event.data.push_str(value);
+                self.event.data.push('\n');
             }
-            "id" if !value.contains('\0') => self.id = value.to_owned(),
-            "" => self.size = self.size.saturating_sub(line.len()), // A comment, as heartbeats are.
+            "id" if !value.contains('\0') => self.event.id = value.to_owned(),
+            // A comment, as heartbeats are.
+            "" => self.event_bytes = self.event_bytes.saturating_sub(line.len()),
             _ => {}
         }
     }
+
+    fn strip_byte_order_mark<'a>(&mut self, line: &'a str) -> &'a str {
+        if self.first_line_read {
+            return line;
+        }
+        self.first_line_read = true;
+        line.strip_prefix(BYTE_ORDER_MARK).unwrap_or(line)
+    }
+
+    /// Ends the current event; one without data is dropped. Its id stays that of the stream.
+    fn complete_event(&mut self, events: &mut Vec<Event>) {
+        self.event_bytes = 0;
+        let name = std::mem::take(&mut self.event.name);
+        let data = std::mem::take(&mut self.event.data);
+        if let Some(data) = data.strip_suffix('\n') {
+            events.push(Event {
+                name,
+                data: data.to_owned(),
+                id: self.event.id.clone(),
+            });
+        }
+    }
 }
 
-/// The bytes of an event.
+/// The bytes of an event; an empty type or id is left out.
+#[must_use]
 pub fn write(name: &str, id: &str, data: &str) -> Vec<u8> {
     let mut text = String::with_capacity(data.len() + name.len() + 32);
     for (field, value) in [("event", name), ("id", id)] {
@@ -104,8 +126,5 @@
     text.into_bytes()
 }
 
-/// A comment: it says that the stream lives.
-pub const HEARTBEAT: &[u8] = b":\n\n";
-
 #[cfg(test)]
 mod tests;
--- a/crates/http/src/sse/tests.rs
+++ b/crates/http/src/sse/tests.rs
@@ -2,9 +2,9 @@
 
 fn read(bytes: &[u8], step: usize) -> Vec<Event> {
     let (mut reader, mut events) = (Reader::default(), Vec::new());
-    bytes
-        .chunks(step)
-        .for_each(|c| reader.feed(c, &mut events).unwrap());
+    for piece in bytes.chunks(step) {
+        reader.feed(piece, &mut events).unwrap();
+    }
     events
 }
 
@@ -29,7 +29,7 @@
 }
 
 #[test]
-fn what_is_written_is_read() {
+fn written_events_are_read_back() {
     let bytes = [
         write("note", "3", "{\"a\":1}\nb"),
         HEARTBEAT.to_vec(),
@@ -45,12 +45,12 @@
 }
 
 #[test]
-fn an_event_without_end_is_refused_and_heartbeats_never_add_up() {
+fn an_endless_event_is_rejected_and_heartbeats_never_add_up() {
     let mut reader = Reader::default();
-    let line = vec![b'x'; MOST_EVENT];
+    let line = vec![b'x'; MAX_EVENT_BYTES];
     assert!(reader.feed(&line, &mut vec![]).is_ok() && reader.feed(b"y", &mut vec![]).is_err());
     let mut reader = Reader::default();
-    for _ in 0..MOST_EVENT {
+    for _ in 0..MAX_EVENT_BYTES {
         reader.feed(b":h\n", &mut vec![]).unwrap();
     }
 }
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -2,8 +2,9 @@
 use crate::clock::after;
 use crate::Socket;
 use crankpaddle_http::body::Body;
-use crankpaddle_http::head::{Bad, Framing, Request, Response};
+use crankpaddle_http::head::{Framing, Request, Response};
 use crankpaddle_http::sse::{Event, Reader};
+use crankpaddle_http::HttpError;
 use std::sync::Arc;
 
 /// Why no message was received.
@@ -17,7 +18,7 @@
     Broken,
     /// The message is malformed.
     #[error("malformed: {0}")]
-    Bad(#[from] Bad),
+    Bad(#[from] HttpError),
 }
 
 /// A connection that carries HTTP, and what was read beyond the last message.
@@ -134,12 +135,12 @@
         loop {
             let taken = body.feed(&self.buffer, &mut data)?;
             self.buffer.drain(..taken);
-            if body.done() {
+            if body.is_complete() {
                 return Ok(data);
             }
             match self.fill_buffer() {
                 Ok(()) => {}
-                Err(_) if body.may_close() => return Ok(data),
+                Err(_) if body.may_end_at_close() => return Ok(data),
                 Err(_) => return Err(ExchangeError::Broken),
             }
         }
@@ -160,12 +161,12 @@
             self.buffer.drain(..taken);
             count += data.len() as u64;
             data.clear();
-            if body.done() {
+            if body.is_complete() {
                 return Ok(count);
             }
             match self.fill_buffer() {
                 Ok(()) => {}
-                Err(_) if body.may_close() => return Ok(count),
+                Err(_) if body.may_end_at_close() => return Ok(count),
                 Err(error) => return Err((count, error)),
             }
         }
@@ -211,12 +212,10 @@
             let mut events = Vec::new();
             let taken = self.body.feed(&self.exchange.buffer, &mut data)?;
             self.exchange.buffer.drain(..taken);
-            self.reader
-                .feed(&data, &mut events)
-                .map_err(|e| ExchangeError::Bad(Bad::request(e)))?;
+            self.reader.feed(&data, &mut events)?;
             self.ready = events.into_iter();
             if self.ready.len() == 0 {
-                if self.body.done() {
+                if self.body.is_complete() {
                     return Err(ExchangeError::Closed);
                 }
                 self.exchange.socket.set_expiry(after(self.silence));
--- a/crates/traffic-report/src/source.rs
+++ b/crates/traffic-report/src/source.rs
@@ -2,6 +2,7 @@
 use crankpaddle_cross_zone_traffic::report::TrafficReport;
 use crankpaddle_http::body::Body;
 use crankpaddle_http::head::{self, Response};
+use crankpaddle_http::HttpError;
 use std::fmt;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -69,16 +70,16 @@
     stream.take(MOST as u64).read_to_end(&mut answer)?;
     let other = |what: String| SourceError::Other(what);
     let (response, at) = Response::parse(&answer)
-        .map_err(|bad| other(format!("answered no HTTP: {}", bad.what)))?
+        .map_err(|bad| other(format!("answered no HTTP: {}", bad.detail())))?
         .ok_or_else(|| other("broke off within its answer".into()))?;
     if response.status != 200 {
         return Err(other(format!("answered with status {}", response.status)));
     }
-    let bad = |bad: head::Bad| other(format!("answered no HTTP: {}", bad.what));
+    let bad = |bad: HttpError| other(format!("answered no HTTP: {}", bad.detail()));
     let mut body = Body::new(response.framing().map_err(bad)?, MOST as u64).map_err(bad)?;
     let mut data = Vec::new();
     body.feed(&answer[at..], &mut data).map_err(bad)?;
-    if !body.may_close() {
+    if !body.may_end_at_close() {
         return Err(other("broke off within its answer".into()));
     }
     Ok(data)
