Config: one checker for each section, assembled in steps; error enum with named fields

Error::Read and Error::Invalid (thiserror) have the same texts. The test's list of mistakes is a table; its literals stay. The lint exceptions go.

--- /dev/null
+++ b/crates/config/src/check/budgets.rs
@@ -0,0 +1,94 @@
+//! The sections `budget`: limits of the traffic between zones.
+use super::front::Zones;
+use super::ConfigChecker;
+use crate::schema;
+use crankpaddle_cross_zone_traffic::budget::SharedBudget;
+use crankpaddle_cross_zone_traffic::cross_zone_admission::CrossZoneLimit;
+use crankpaddle_textproto::Unit;
+use std::collections::HashMap;
+
+/// The traffic that a budget limits, as indices; `None` for an unknown zone, and for all classes.
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+struct BudgetScope {
+    from: Option<usize>,
+    to: Option<usize>,
+    class: Option<usize>,
+}
+
+impl ConfigChecker<'_, '_> {
+    /// The budgets for traffic to the front's own zone; all others are checked too.
+    pub(super) fn budgets(
+        &mut self,
+        budgets: &[schema::Budget],
+        zones: &Zones,
+        classes: &[String],
+    ) -> Vec<CrossZoneLimit> {
+        let mut first_uses = HashMap::new();
+        let mut limits = Vec::new();
+        for (i, budget) in budgets.iter().enumerate() {
+            let scope = self.budget_scope(i, budget, zones, classes);
+            if let Some(first) = first_uses.insert(scope, i) {
+                let what =
+                    format!("the same zones and class as budget[{first}]; a budget stands once");
+                self.wrong(&format!("budget[{i}].from"), what);
+            }
+            let shared = self.shared_budget(i, budget);
+            let Some(from) = scope.from else {
+                continue;
+            };
+            if scope.to == Some(zones.own) {
+                limits.push(CrossZoneLimit {
+                    from: from as u8,
+                    class: scope.class.map(|class| class as u8),
+                    shared,
+                });
+            }
+        }
+        limits
+    }
+
+    fn budget_scope(
+        &mut self,
+        i: usize,
+        budget: &schema::Budget,
+        zones: &Zones,
+        classes: &[String],
+    ) -> BudgetScope {
+        let path = |field: &str| format!("budget[{i}].{field}");
+        let from = self.zone_index(&zones.names, &path("from"), &budget.from);
+        let to = self.zone_index(&zones.names, &path("to"), &budget.to);
+        self.must(
+            from.is_none() || from != to,
+            &path("to"),
+            "is the zone that it comes from: only what crosses has a budget",
+        );
+        let class = classes.iter().position(|class| *class == budget.class);
+        if class.is_none() && !budget.class.is_empty() {
+            let known = classes.join(", ");
+            let what = format!("{:?} is not a class: {known}", budget.class);
+            self.wrong(&path("class"), what);
+        }
+        BudgetScope { from, to, class }
+    }
+
+    fn shared_budget(&mut self, i: usize, budget: &schema::Budget) -> SharedBudget {
+        let path = |field: &str| format!("budget[{i}].{field}");
+        let has_volume = !budget.volume.is_empty() || !budget.period.is_empty();
+        // A rate of zero forbids the traffic.
+        let rate_kb = self.measure(&path("rate"), &budget.rate, Unit::Rate, 0.0);
+        let burst = self.measure(&path("burst"), &budget.burst, Unit::Size, 1.0);
+        let mut volume = f64::INFINITY;
+        let mut period = 0;
+        if has_volume {
+            volume = self.size(&path("volume"), &budget.volume) as f64;
+            period = self.time(&path("period"), &budget.period);
+        }
+        SharedBudget {
+            rate_kb,
+            burst,
+            volume,
+            period,
+            repay: self.time(&path("repay"), budget.repay()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/check/classes.rs
@@ -0,0 +1,89 @@
+//! The sections `class`: what viewers of a class want and may do.
+use super::ladder::Ladder;
+use super::ConfigChecker;
+use crate::schema;
+use crankpaddle::{Class, Idempotency, RetryScope};
+
+/// The classes in the order of their numbers.
+pub(super) struct Classes {
+    pub(super) names: Vec<String>,
+    pub(super) classes: Vec<Class>,
+    /// How long a viewer of each class waits for an answer at most, nanoseconds.
+    pub(super) max_wait: Vec<u64>,
+}
+
+impl ConfigChecker<'_, '_> {
+    pub(super) fn classes(&mut self, raw: &[schema::Class], ladder: &Ladder) -> Classes {
+        let names: Vec<&str> = raw.iter().map(|class| class.name.as_str()).collect();
+        let names = self.names("class", ".name", &names);
+        let mut classes = Vec::with_capacity(raw.len());
+        let mut max_wait = Vec::with_capacity(raw.len());
+        for (i, class) in raw.iter().enumerate() {
+            let checked = self.class(i, class, ladder.rung_count());
+            max_wait.push(self.max_wait(i, class, checked.latency_objective));
+            classes.push(checked);
+        }
+        Classes {
+            names,
+            classes,
+            max_wait,
+        }
+    }
+
+    fn class(&mut self, i: usize, class: &schema::Class, rungs: u32) -> Class {
+        let path = |field: &str| format!("class[{i}].{field}");
+        let (idempotency, retry_window) = self.idempotency(i, class);
+        let latency_objective = self.time(&path("aim"), class.aim());
+        let max_rung = self.count(&path("top"), class.top.unwrap_or(rungs - 1), 0, rungs - 1);
+        let min_rung = self.count(&path("floor"), class.floor, 0, max_rung);
+        Class {
+            latency_objective,
+            idempotency,
+            retry_window,
+            priority_weight: self.within(&path("worth"), class.worth(), 1e-9, 1e9),
+            min_rung: min_rung as u8,
+            max_rung: max_rung as u8,
+            rate_factor: self.within(&path("rate_factor"), class.rate_factor(), 1e-3, 1e3),
+            max_sessions_per_title: class.seats,
+            live: class.live,
+        }
+    }
+
+    /// Whether set-ups of the class may be retried, and within which time, nanoseconds (0: not bounded).
+    fn idempotency(&mut self, i: usize, class: &schema::Class) -> (Idempotency, u64) {
+        match class.effect() {
+            schema::Effect::Free => (Idempotency::Idempotent, 0),
+            schema::Effect::Paid => (Idempotency::AtMostOnce, 0),
+            schema::Effect::Guarded => {
+                let path = format!("class[{i}].repeat_within");
+                let retry_window = self.time(&path, &class.repeat_within);
+                let scope = retry_scope(class.group());
+                (Idempotency::IdempotentWithin(scope), retry_window)
+            }
+            schema::Effect::Unspecified => {
+                let path = format!("class[{i}].effect");
+                self.wrong(&path, "is missing: FREE, GUARDED or PAID");
+                (Idempotency::AtMostOnce, 0)
+            }
+        }
+    }
+
+    fn max_wait(&mut self, i: usize, class: &schema::Class, latency_objective: u64) -> u64 {
+        let path = format!("class[{i}].give_up");
+        let max_wait = self.time(&path, class.give_up());
+        self.must(
+            max_wait >= latency_objective || class.give_up().is_empty(),
+            &path,
+            "is under aim: viewers would give up before the wanted bound",
+        );
+        max_wait
+    }
+}
+
+fn retry_scope(group: schema::Group) -> RetryScope {
+    match group {
+        schema::Group::All => RetryScope::All,
+        schema::Group::Zone => RetryScope::Zone,
+        schema::Group::Cell => RetryScope::Cell,
+    }
+}
--- /dev/null
+++ b/crates/config/src/check/ladder.rs
@@ -0,0 +1,71 @@
+//! The section `ladder`: the rungs and what changing them costs.
+use super::ConfigChecker;
+use crate::schema;
+
+const MAX_RUNGS: usize = 64;
+/// The least utility of a rung: it must be above zero.
+const MIN_UTILITY: f64 = 1e-9;
+
+/// The ladder's values.
+pub(super) struct Ladder {
+    /// Rate of each rung, kB a second.
+    pub(super) rung_kb: Vec<f64>,
+    pub(super) rung_utility: Vec<f64>,
+    pub(super) shortfall_cost: f64,
+    pub(super) rung_change_cost_seconds: f64,
+}
+
+impl Ladder {
+    /// The number of rungs, one if none is configured.
+    pub(super) fn rung_count(&self) -> u32 {
+        self.rung_kb.len().max(1) as u32
+    }
+}
+
+impl ConfigChecker<'_, '_> {
+    pub(super) fn ladder(&mut self, ladder: &schema::Ladder) -> Ladder {
+        self.must(
+            (1..=MAX_RUNGS).contains(&ladder.rung.len()),
+            "ladder.rung",
+            "1 to 64 rungs are allowed",
+        );
+        let mut rung_kb = Vec::new();
+        let mut rung_utility = Vec::new();
+        for (i, rung) in ladder.rung.iter().enumerate() {
+            let rate_path = format!("ladder.rung[{i}].rate");
+            let utility_path = format!("ladder.rung[{i}].worth");
+            let rate = self.rate(&rate_path, &rung.rate);
+            let utility = self.within(&utility_path, rung.worth, MIN_UTILITY, 1.0);
+            self.must(
+                rises(&rung_kb, rate),
+                &rate_path,
+                "does not rise: each rung's rate is over the one before",
+            );
+            self.must(
+                rises(&rung_utility, utility),
+                &utility_path,
+                "does not rise: each rung earns more than the one before",
+            );
+            rung_kb.push(rate);
+            rung_utility.push(utility);
+        }
+        let shortfall_cost = ladder.shortfall_cost();
+        let switch_seconds = ladder.switch_seconds();
+        Ladder {
+            rung_kb,
+            rung_utility,
+            shortfall_cost: self.within("ladder.shortfall_cost", shortfall_cost, 0.0, 100.0),
+            rung_change_cost_seconds: self.within(
+                "ladder.switch_seconds",
+                switch_seconds,
+                0.0,
+                60.0,
+            ),
+        }
+    }
+}
+
+/// Whether the next value is above the last one.
+fn rises(values: &[f64], next: f64) -> bool {
+    values.last().is_none_or(|last| next > *last)
+}
--- /dev/null
+++ b/crates/config/src/check/store.rs
@@ -0,0 +1,43 @@
+//! The section `store`: what survives a power loss, and how service returns after one.
+use super::ConfigChecker;
+use crate::{schema, Store};
+use crankpaddle_recovery::StageTimeouts;
+
+impl ConfigChecker<'_, '_> {
+    /// `warm_up` is the time after which a restarted server is warm, nanoseconds.
+    pub(super) fn store(&mut self, sections: &[schema::Store], warm_up: u64) -> Option<Store> {
+        self.must(sections.len() <= 1, "store[1]", "a store stands once");
+        let store = sections.first()?;
+        let path = |field: &str| format!("store[0].{field}");
+        self.must(
+            !store.dir.is_empty(),
+            &path("dir"),
+            "is missing: a folder of this front's own",
+        );
+        self.replica_name(&path("name"), &store.name);
+        self.must(
+            !store.boot_file().is_empty(),
+            &path("boot_file"),
+            "is empty: a file that differs with each boot",
+        );
+        Some(Store {
+            dir: store.dir.clone().into(),
+            name: store.name.clone(),
+            key_file: self.key_file(&path("key_file"), &store.key_file),
+            steps: self.stage_timeouts(store, warm_up),
+            boot_file: store.boot_file().into(),
+        })
+    }
+
+    fn stage_timeouts(&mut self, store: &schema::Store, warm_up: u64) -> StageTimeouts {
+        StageTimeouts {
+            reconciliation_timeout: self.time("store[0].settle", store.settle()),
+            paid_quiet_period: self.time("store[0].calm", store.calm()),
+            paid_only_timeout: match &store.paid_first {
+                Some(time) => self.time("store[0].paid_first", time),
+                None => warm_up,
+            },
+            warm_up_duration: warm_up,
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/check/tenants.rs
@@ -0,0 +1,22 @@
+//! The sections `tenant`: who shares the fleet.
+use super::ConfigChecker;
+use crate::schema;
+
+/// The tenants in order; empty where one owner has all.
+pub(super) struct Tenants {
+    pub(super) names: Vec<String>,
+    pub(super) quotas: Vec<f64>,
+}
+
+impl ConfigChecker<'_, '_> {
+    pub(super) fn tenants(&mut self, tenants: &[schema::Tenant]) -> Tenants {
+        let names: Vec<&str> = tenants.iter().map(|tenant| tenant.name.as_str()).collect();
+        let names = self.names("tenant", ".name", &names);
+        let mut quotas = Vec::with_capacity(tenants.len());
+        for (i, tenant) in tenants.iter().enumerate() {
+            let path = format!("tenant[{i}].quota");
+            quotas.push(self.within(&path, tenant.quota, 0.001, 1e9));
+        }
+        Tenants { names, quotas }
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,9 +1,8 @@
-//! The configuration of a front: protobuf text format, checked whole before anything starts.
+//! The configuration of a front: protobuf text format, checked completely before anything starts.
 //!
-//! [`parse`] reads a text into a [`Config`] in the terms of the core, or says everything that is wrong, each with
-//! line, column and what is allowed. The schema is `proto/config.proto`; what a file may leave out stands in
-//! `proto/defaults.textproto`, and nowhere else.
-#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
+//! [`parse`] reads a text into a [`Config`] in the terms of the core, or reports every problem, each with line, column
+//! and what is allowed. The schema is `proto/config.proto`; the defaults are in `proto/defaults.textproto`, and nowhere
+//! else. Fields of [`Limits`], [`Peers`] and [`Store`] have the names of the schema.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 mod check;
@@ -12,13 +11,12 @@
 use crankpaddle_cross_zone_traffic::cross_zone_admission::CrossZoneLimit;
 use crankpaddle_front::CoreConfig;
 use std::collections::HashMap;
-use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 pub use crankpaddle_textproto::Problem;
 
-#[allow(missing_docs, unreachable_pub)] // Generated; the schema has comments of its own.
+#[allow(missing_docs, unreachable_pub)] // Generated; the schema has its own comments.
 mod schema {
     include!(concat!(env!("OUT_DIR"), "/crankpaddle.v1.rs"));
 }
@@ -26,78 +24,78 @@
 /// The schema's descriptors, for the text format.
 pub(crate) const DESCRIPTORS: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/config.binpb"));
 
-/// What holds where a file says nothing, in the same form.
+/// The defaults for what a file leaves out, in the same format.
 pub const DEFAULTS: &str = include_str!("../proto/defaults.textproto");
 
-/// A title and where it lies.
+/// A title and where it is stored.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Title {
     /// Its number for the core.
     pub number: u64,
-    /// First cell that holds it.
+    /// First cell that stores it.
     pub first_cell: u32,
-    /// Cells in a row that hold it.
+    /// Number of consecutive cells that store it.
     pub copies: u32,
-    /// Group that its traffic is counted under, an index into [`Config::groups`].
+    /// Group under which its traffic is counted, an index into [`Config::groups`].
     pub group: u16,
 }
 
-/// Bounds of the front's sockets. Times in nanoseconds, sizes in bytes.
+/// Limits of the front's sockets. Times in nanoseconds, sizes in bytes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Limits {
-    /// Connections of players at once.
+    /// Concurrent player connections.
     pub connections: usize,
-    /// Largest message of a player.
+    /// Largest message from a player.
     pub message: usize,
-    /// Bytes that wait for a player who does not read.
+    /// Bytes that may wait for a player that does not read.
     pub unread: usize,
-    /// A silent player is pinged after this time, and closed after as much again.
+    /// A silent player is pinged after this time, and disconnected after as much again.
     pub idle: u64,
-    /// A request must be whole within this time.
+    /// Time within which a request must be complete.
     pub handshake: u64,
     /// Time to connect to a server.
     pub connect: u64,
     /// Idle connections to servers are closed after this time.
     pub pool_idle: u64,
-    /// A silent event stream is called again after this time.
+    /// A silent event stream is reconnected after this time.
     pub silence: u64,
-    /// Longest time that what is under way is waited for at the end.
+    /// Longest time that a shutdown waits for work in progress.
     pub drain: u64,
 }
 
-/// How a front finds the other fronts and is found.
+/// How a front finds its peers and is found by them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peers {
-    /// Its name among them.
+    /// Its name among its peers.
     pub name: String,
-    /// Where it hears them.
+    /// Address on which it receives their datagrams.
     pub listen: SocketAddr,
-    /// Where they reach it; `None`: where it listens.
+    /// Address that it advertises; `None`: that on which it listens.
     pub address: Option<SocketAddr>,
-    /// Where some of them may be found at first.
+    /// Addresses of peers that it contacts first.
     pub seeds: Vec<SocketAddr>,
-    /// The file of the fleet's key.
+    /// The file with the fleet's key.
     pub key_file: PathBuf,
-    /// Datagrams that go out in a second at most.
+    /// Most datagrams sent in a second.
     pub datagrams: u32,
-    /// Bytes that go out in a second at most.
+    /// Most bytes sent in a second.
     pub bytes: usize,
-    /// Time between two probes, nanoseconds.
+    /// Probe interval in nanoseconds.
     pub probe_every: u64,
-    /// Where this front reaches others, if not where they say, by name.
+    /// Addresses that replace those that peers advertise, by the peer's name.
     pub ways: HashMap<String, SocketAddr>,
 }
 
-/// What is kept over a power loss, and how service returns after one.
+/// What is persisted over a power loss, and how service returns after one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Store {
-    /// The folder.
+    /// The directory.
     pub dir: PathBuf,
-    /// This front's name, the same in all its lives.
+    /// This front's name, the same in all its incarnations.
     pub name: String,
-    /// The file of the key from which its name at servers is made.
+    /// The file with the key from which its name at servers is derived.
     pub key_file: PathBuf,
-    /// Bounds of the steps in which service returns.
+    /// Timeouts of the stages in which service returns.
     pub steps: crankpaddle_recovery::StageTimeouts,
     /// A file whose text differs with each boot of the host.
     pub boot_file: PathBuf,
@@ -106,39 +104,39 @@
 /// A checked configuration.
 #[derive(Clone, Debug)]
 pub struct Config {
-    /// What is kept over a power loss; `None`: nothing is.
+    /// What is persisted over a power loss; `None`: nothing.
     pub store: Option<Store>,
-    /// The other fronts; `None`: this one talks to none.
+    /// How to find the other fronts; `None`: this one has no peers.
     pub peers: Option<Peers>,
     /// The decision module's settings.
     pub settings: Settings,
-    /// The core's terms.
+    /// The core's configuration.
     pub terms: CoreConfig,
-    /// Bounds of the sockets.
+    /// Limits of the sockets.
     pub limits: Limits,
-    /// Where players and operators connect.
+    /// Address on which players and operators connect.
     pub listen: SocketAddr,
-    /// Where the list service is.
+    /// Address of the list service.
     pub list_service: SocketAddr,
-    /// Where the last list is kept.
+    /// The file in which the last endpoint list is cached.
     pub list_cache: Option<PathBuf>,
-    /// Seed of the module; `None`: to be drawn at the start.
+    /// Seed of the decision module's generator; `None`: a random one.
     pub seed: Option<u64>,
     /// Worker threads; `None`: one a core.
     pub workers: Option<usize>,
-    /// Numbers of classes by name, in order.
+    /// Names of classes, by class number.
     pub classes: Vec<String>,
-    /// Names of tenants in order; empty: one owner of all.
+    /// Names of tenants, by number; empty: one owner of all.
     pub tenants: Vec<String>,
-    /// Names of zones in order.
+    /// Names of zones, by number.
     pub zones: Vec<String>,
-    /// Names of kinds in order.
+    /// Names of kinds, by number.
     pub kinds: Vec<String>,
-    /// Groups of titles by number; the first, without a name, is that of titles without one.
+    /// Names of title groups, by number; the first, empty, is that of titles without a group.
     pub groups: Vec<String>,
-    /// Budgets for what crosses to this front's zone.
+    /// Budgets for traffic from other zones to this front's zone.
     pub budgets: Vec<CrossZoneLimit>,
-    /// Where the account of traffic is kept.
+    /// The file in which the traffic account is persisted.
     pub traffic_file: Option<PathBuf>,
     /// Titles by name.
     pub titles: HashMap<String, Title>,
@@ -149,55 +147,69 @@
 }
 
 /// Why a file could not be used.
-#[derive(Debug)]
+#[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// It could not be read.
-    Read(PathBuf, std::io::Error),
-    /// It was read and is wrong.
-    Wrong(PathBuf, Vec<Problem>),
+    #[error("{}: {source}", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// What the system reported.
+        source: std::io::Error,
+    },
+    /// It was read and has problems.
+    #[error("{}", list_problems(path, problems))]
+    Invalid {
+        /// The file.
+        path: PathBuf,
+        /// The problems, in the order of the file.
+        problems: Vec<Problem>,
+    },
 }
 
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Error::Read(path, e) => write!(f, "{}: {e}", path.display()),
-            Error::Wrong(path, problems) => {
-                let lines: Vec<String> = problems
-                    .iter()
-                    .map(|p| format!("{}:{p}", path.display()))
-                    .collect();
-                f.write_str(&lines.join("\n"))
-            }
-        }
-    }
+/// One line for each problem, with the file's name.
+fn list_problems(path: &Path, problems: &[Problem]) -> String {
+    let lines: Vec<String> = problems
+        .iter()
+        .map(|problem| format!("{}:{problem}", path.display()))
+        .collect();
+    lines.join("\n")
 }
 
-impl std::error::Error for Error {}
-
 /// Reads and checks a file.
 ///
 /// # Errors
-/// The file can't be read, or everything that is wrong in it.
+/// The file can't be read, or has problems.
 pub fn load(path: &Path) -> Result<Config, Error> {
-    let text = std::fs::read_to_string(path).map_err(|e| Error::Read(path.to_owned(), e))?;
-    parse(&text).map_err(|problems| Error::Wrong(path.to_owned(), problems))
+    let (config, _) = check_file(path)?;
+    Ok(config)
 }
 
 /// Checks a text.
 ///
 /// # Errors
-/// Everything that is wrong in it, in the order of the file.
+/// Every problem in it, in the order of the file.
 pub fn parse(text: &str) -> Result<Config, Vec<Problem>> {
-    check::parse(text).map(|(config, _)| config)
+    let (config, _) = check::parse(text)?;
+    Ok(config)
 }
 
-/// The text of a file with all defaults filled in, once it is checked.
+/// Checks a file and returns its text with all defaults filled in.
 ///
 /// # Errors
 /// As [`load`].
 pub fn filled(path: &Path) -> Result<String, Error> {
-    let text = std::fs::read_to_string(path).map_err(|e| Error::Read(path.to_owned(), e))?;
-    check::parse(&text)
-        .map(|(_, filled)| filled)
-        .map_err(|problems| Error::Wrong(path.to_owned(), problems))
+    let (_, filled) = check_file(path)?;
+    Ok(filled)
+}
+
+fn check_file(path: &Path) -> Result<(Config, String), Error> {
+    let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
+        path: path.to_owned(),
+        source,
+    })?;
+    check::parse(&text).map_err(|problems| Error::Invalid {
+        path: path.to_owned(),
+        problems,
+    })
 }
--- a/crates/config/tests/check.rs
+++ b/crates/config/tests/check.rs
@@ -1,9 +1,8 @@
-//! What is wrong in a file is said with its place and with what is allowed, and all of it at once.
-#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
+//! Every problem in a file is reported at once, with its place and with what is allowed.
 use crankpaddle_config::{parse, Problem};
 use proptest::prelude::*;
 
-/// All fields: the example that stands in deploy, with its limits and rules said.
+/// All fields: the example in deploy, with its limits and rules stated.
 const GOOD: &str = include_str!("full.textproto");
 /// What an operator starts from.
 const EXAMPLE: &str = include_str!("../../../deploy/front.textproto");
@@ -18,7 +17,7 @@
 }
 
 #[test]
-fn the_example_is_what_it_says() {
+fn the_example_is_read_as_written() {
     let config = parse(GOOD).unwrap();
     assert_eq!(config.settings.rung_kb, [60.0, 120.0, 200.0, 400.0]);
     assert_eq!(config.settings.classes[0].latency_objective, 800_000_000);
@@ -33,84 +32,118 @@
     );
 }
 
+/// A mistake in the good file, and how it is reported.
+struct Mistake {
+    /// The text that is replaced.
+    from: &'static str,
+    /// What it is replaced by.
+    to: &'static str,
+    /// A text in the line that is reported.
+    line: &'static str,
+    /// A part of the report.
+    report: &'static str,
+}
+
+const fn mistake(
+    from: &'static str,
+    to: &'static str,
+    line: &'static str,
+    report: &'static str,
+) -> Mistake {
+    Mistake {
+        from,
+        to,
+        line,
+        report,
+    }
+}
+
+const MISTAKES: [Mistake; 15] = [
+    mistake("index: 0", "index: 2", "index: 0", "allowed: 0 to 1"),
+    mistake(
+        "zone: \"north\"",
+        "zone: \"nrth\"",
+        "zone: \"north\"",
+        "not in fleet.zone: north, south",
+    ),
+    mistake(
+        "aim: \"800ms\"",
+        "aim: \"800kB/s\"",
+        "aim: \"800ms\"",
+        "is not a time such as",
+    ),
+    mistake(
+        "rate: \"60kB/s\"",
+        "rate: \"60ms\"",
+        "rate: \"60kB/s\"",
+        "is not a rate such as",
+    ),
+    mistake(
+        "unread: \"64KiB\"",
+        "unread: \"64\"",
+        "unread:",
+        "is not a size such as",
+    ),
+    mistake(
+        "rate: \"120kB/s\"",
+        "rate: \"50kB/s\"",
+        "rate: \"120kB/s\"",
+        "does not rise",
+    ),
+    mistake(
+        "worth: 0.5 }",
+        "worth: 0.1 }",
+        "worth: 0.5 }",
+        "does not rise",
+    ),
+    mistake("effect: FREE", "effect: PIAD", "effect: FREE", "PIAD"),
+    mistake(
+        "attempts: 4",
+        "attempts: 0",
+        "attempts: 4",
+        "allowed: 1 to 200",
+    ),
+    mistake("copies: 3", "copies: 9", "copies: 3", "allowed: 1 to 4"),
+    mistake(
+        "give_up: \"4s\"",
+        "give_up: \"150ms\"",
+        "give_up: \"4s\"",
+        "under aim",
+    ),
+    mistake(
+        "listen: \"127.0.0.1:7400\"",
+        "listen: \"localhost\"",
+        "listen:",
+        "not an address",
+    ),
+    mistake("siblings: 2", "siblings: -2", "siblings: 2", "expected"),
+    mistake(
+        "cold_share: 0.4",
+        "cold_share: 4",
+        "cold_share: 0.4",
+        "allowed: 0.001 to 1",
+    ),
+    mistake(
+        "name: \"mill-weir\"",
+        "name: \"harbour-lights\"",
+        "mill-weir",
+        "taken by title[0]",
+    ),
+];
+
 #[test]
-fn each_error_is_named_where_it_stands() {
-    for (from, to, line, said) in [
-        ("index: 0", "index: 2", "index: 0", "allowed: 0 to 1"),
-        (
-            "zone: \"north\"",
-            "zone: \"nrth\"",
-            "zone: \"north\"",
-            "not in fleet.zone: north, south",
-        ),
-        (
-            "aim: \"800ms\"",
-            "aim: \"800kB/s\"",
-            "aim: \"800ms\"",
-            "is not a time such as",
-        ),
-        (
-            "rate: \"60kB/s\"",
-            "rate: \"60ms\"",
-            "rate: \"60kB/s\"",
-            "is not a rate such as",
-        ),
-        (
-            "unread: \"64KiB\"",
-            "unread: \"64\"",
-            "unread:",
-            "is not a size such as",
-        ),
-        (
-            "rate: \"120kB/s\"",
-            "rate: \"50kB/s\"",
-            "rate: \"120kB/s\"",
-            "does not rise",
-        ),
-        (
-            "worth: 0.5 }",
-            "worth: 0.1 }",
-            "worth: 0.5 }",
-            "does not rise",
-        ),
-        ("effect: FREE", "effect: PIAD", "effect: FREE", "PIAD"),
-        (
-            "attempts: 4",
-            "attempts: 0",
-            "attempts: 4",
-            "allowed: 1 to 200",
-        ),
-        ("copies: 3", "copies: 9", "copies: 3", "allowed: 1 to 4"),
-        (
-            "give_up: \"4s\"",
-            "give_up: \"150ms\"",
-            "give_up: \"4s\"",
-            "under aim",
-        ),
-        (
-            "listen: \"127.0.0.1:7400\"",
-            "listen: \"localhost\"",
-            "listen:",
-            "not an address",
-        ),
-        ("siblings: 2", "siblings: -2", "siblings: 2", "expected"),
-        (
-            "cold_share: 0.4",
-            "cold_share: 4",
-            "cold_share: 0.4",
-            "allowed: 0.001 to 1",
-        ),
-        (
-            "name: \"mill-weir\"",
-            "name: \"harbour-lights\"",
-            "mill-weir",
-            "taken by title[0]",
-        ),
-    ] {
+fn each_mistake_is_reported_at_its_place() {
+    for Mistake {
+        from,
+        to,
+        line,
+        report,
+    } in MISTAKES
+    {
         let found = problems(from, to);
         let here: Vec<_> = found
             .iter()
-            .filter(|p| p.line == line_of(line) && p.what.contains(said))
+            .filter(|p| p.line == line_of(line) && p.what.contains(report))
             .collect();
         assert_eq!(here.len(), 1, "{from} -> {to}: {found:?}");
     }
@@ -133,7 +166,7 @@
 }
 
 #[test]
-fn all_that_is_wrong_is_said_at_once_in_order() {
+fn all_problems_are_reported_at_once_in_order() {
     let text = GOOD
         .replace("index: 0", "index: 9")
         .replace("fall: \"1s\"", "fall: \"\"")
@@ -144,7 +177,7 @@
 }
 
 #[test]
-fn an_empty_file_says_what_is_missing() {
+fn an_empty_file_said_the_missing_sections() {
     let said: Vec<String> = parse("")
         .unwrap_err()
         .iter()
@@ -159,7 +192,7 @@
 }
 
 #[test]
-fn a_few_lines_are_enough_and_what_they_leave_out_is_filled_in() {
+fn a_few_lines_are_enough_and_defaults_fill_in_the_rest() {
     let stated = EXAMPLE
         .lines()
         .filter(|l| !l.trim().is_empty() && !l.starts_with('#'))
@@ -183,8 +216,8 @@
     );
     assert!(few.log_json && few.log_level == "info");
     // Zero is a value, not an absence.
-    let said = EXAMPLE.to_owned() + "rules { over_share_worth: 0 cold_share: 0.5 }\n";
-    let config = parse(&said).unwrap();
+    let text = EXAMPLE.to_owned() + "rules { over_share_worth: 0 cold_share: 0.5 }\n";
+    let config = parse(&text).unwrap();
     assert_eq!(
         (
             config.settings.over_quota_weight,
@@ -199,7 +232,7 @@
 }
 
 #[test]
-fn unknown_and_malformed_fields_do_not_hide_the_others() {
+fn unknown_and_malformed_fields_do_not_hide_other_problems() {
     let text = GOOD
         .replace("index: 0", "index: 9")
         .replace("siblings: 2", "siblings: -2")
