--- a/crates/textproto/src/locate.rs
+++ b/crates/textproto/src/locate.rs
@@ -1,6 +1,6 @@
-//! Where each field of a text-format file stands, so that what is checked later can be said with line and column.
+//! The place of each field in a text-format file, so that later checks can report line and column.
 //!
-//! The values themselves are read by prost-reflect; this only follows the structure: `name: value`, `name { ... }`,
+//! The values themselves are read by prost-reflect; this only parses the structure: `name: value`, `name { ... }`,
 //! `name: [ ... ]`, comments.
 use winnow::combinator::{alt, delimited, opt, preceded, repeat, separated};
 use winnow::error::ContextError;
@@ -10,151 +10,166 @@
 
 type Input<'a> = LocatingSlice<&'a str>;
 
-/// A field, where its name and its value begin, and where it ends, in bytes.
+/// A field and its places, in bytes from the start of the text.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Node {
     pub name: String,
-    pub at: usize,
-    pub value_at: usize,
+    /// Where its name begins; for an element of a list, where the element begins.
+    pub start: usize,
+    /// Where its value begins.
+    pub value_start: usize,
+    /// Where it ends.
     pub end: usize,
-    pub fields: Option<Vec<Node>>, // Of a message.
+    /// The fields of a message; `None` for any other value.
+    pub fields: Option<Vec<Node>>,
 }
 
 enum Value {
     Scalar,
     Message(Vec<Node>),
-    List(Vec<(usize, Value, usize)>),
+    List(Vec<ListElement>),
 }
 
-fn blank(input: &mut Input<'_>) -> Result<()> {
+struct ListElement {
+    start: usize,
+    value: Value,
+    end: usize,
+}
+
+/// Blank space and comments.
+fn skip_blank(input: &mut Input<'_>) -> Result<()> {
     let comment = ('#', take_till(0.., '\n')).void();
-    repeat(
-        0..,
-        alt((take_while(1.., char::is_whitespace).void(), comment)),
-    )
-    .parse_next(input)
+    let space = take_while(1.., char::is_whitespace).void();
+    repeat(0.., alt((space, comment))).parse_next(input)
 }
 
 fn quoted(input: &mut Input<'_>) -> Result<()> {
-    let piece = |quote: char| {
-        repeat::<_, _, (), ContextError, _>(
-            0..,
-            alt((('\\', any).void(), none_of([quote, '\\', '\n']).void())),
-        )
+    let content = |quote: char| {
+        let escaped = ('\\', any).void();
+        let plain = none_of([quote, '\\', '\n']).void();
+        repeat::<_, _, (), ContextError, _>(0.., alt((escaped, plain)))
     };
     alt((
-        delimited('"', piece('"'), '"'),
-        delimited('\'', piece('\''), '\''),
+        delimited('"', content('"'), '"'),
+        delimited('\'', content('\''), '\''),
     ))
     .parse_next(input)
 }
 
+/// An identifier or a number without a sign.
+fn word(input: &mut Input<'_>) -> Result<()> {
+    let is_word_character = |c: char| !c.is_whitespace() && !"{}<>[],;#\"':".contains(c);
+    take_while(1.., is_word_character).void().parse_next(input)
+}
+
 fn scalar(input: &mut Input<'_>) -> Result<()> {
-    let strings = repeat::<_, _, (), _, _>(1.., (quoted, blank));
-    let word = take_while(1.., |c: char| {
-        !c.is_whitespace() && !"{}<>[],;#\"':".contains(c)
-    })
-    .void();
-    let negative = ('-', blank, word).void();
-    let word = take_while(1.., |c: char| {
-        !c.is_whitespace() && !"{}<>[],;#\"':".contains(c)
-    })
-    .void();
+    let strings = repeat::<_, _, (), _, _>(1.., (quoted, skip_blank));
+    let negative = ('-', skip_blank, word).void();
     alt((strings, negative, word)).parse_next(input)
 }
 
+fn list_element(input: &mut Input<'_>) -> Result<ListElement> {
+    skip_blank(input)?;
+    let start = offset(input)?;
+    let value = value(input)?;
+    let end = offset(input)?;
+    skip_blank(input)?;
+    Ok(ListElement { start, value, end })
+}
+
 fn value(input: &mut Input<'_>) -> Result<Value> {
-    let items = separated(
-        0..,
-        (blank, place, value, place, blank).map(|((), at, v, end, ())| (at, v, end)),
-        ',',
-    );
+    let elements = separated(0.., list_element, ',');
     alt((
-        delimited('{', fields, (blank, '}')).map(Value::Message),
-        delimited('<', fields, (blank, '>')).map(Value::Message),
-        delimited('[', items, (blank, ']')).map(Value::List),
+        delimited('{', fields, (skip_blank, '}')).map(Value::Message),
+        delimited('<', fields, (skip_blank, '>')).map(Value::Message),
+        delimited('[', elements, (skip_blank, ']')).map(Value::List),
         scalar.map(|()| Value::Scalar),
     ))
     .parse_next(input)
 }
 
-fn place(input: &mut Input<'_>) -> Result<usize> {
+/// The current place in the text.
+fn offset(input: &mut Input<'_>) -> Result<usize> {
     Ok(input.current_token_start())
 }
 
+/// A field; each element of a list is an occurrence of the field.
 fn field(input: &mut Input<'_>) -> Result<Vec<Node>> {
-    blank(input)?;
-    let at = place(input)?;
+    skip_blank(input)?;
+    let start = offset(input)?;
     let name: &str =
         take_while(1.., |c: char| c.is_alphanumeric() || c == '_').parse_next(input)?;
-    preceded(blank, opt(':')).parse_next(input)?;
-    blank(input)?;
-    let value_at = place(input)?;
+    preceded(skip_blank, opt(':')).parse_next(input)?;
+    skip_blank(input)?;
+    let value_start = offset(input)?;
     let value = value(input)?;
-    let end = place(input)?;
-    preceded(blank, opt(alt((',', ';')))).parse_next(input)?;
-    // Each element of a list is an occurrence of the field.
-    let node = |at, value_at, value, end| {
-        let fields = if let Value::Message(fields) = value {
-            Some(fields)
-        } else {
-            None
-        };
-        Node {
+    let end = offset(input)?;
+    preceded(skip_blank, opt(alt((',', ';')))).parse_next(input)?;
+    let Value::List(elements) = value else {
+        return Ok(vec![Node {
             name: name.to_owned(),
-            at,
-            value_at,
+            start,
+            value_start,
             end,
-            fields,
-        }
+            fields: message_fields(value),
+        }]);
     };
-    Ok(match value {
-        Value::List(items) => items
-            .into_iter()
-            .map(|(item, v, end)| node(item, item, v, end))
-            .collect(),
-        other => vec![node(at, value_at, other, end)],
-    })
+    let occurrences = elements.into_iter().map(|element| Node {
+        name: name.to_owned(),
+        start: element.start,
+        value_start: element.start,
+        end: element.end,
+        fields: message_fields(element.value),
+    });
+    Ok(occurrences.collect())
+}
+
+fn message_fields(value: Value) -> Option<Vec<Node>> {
+    match value {
+        Value::Message(fields) => Some(fields),
+        Value::Scalar | Value::List(_) => None,
+    }
 }
 
 fn fields(input: &mut Input<'_>) -> Result<Vec<Node>> {
     let mut all = Vec::new();
     loop {
-        let start = input.checkpoint();
+        let checkpoint = input.checkpoint();
         match field(input) {
             Ok(nodes) => all.extend(nodes),
             Err(_) => {
-                input.reset(&start);
+                input.reset(&checkpoint);
                 return Ok(all);
             }
         }
     }
 }
 
-/// The fields of a file as far as they can be followed.
+/// The fields of a text, as far as it can be parsed.
 pub(crate) fn locate(text: &str) -> Vec<Node> {
     fields(&mut LocatingSlice::new(text)).unwrap_or_default()
 }
 
-/// Where a path such as `class[1].aim` stands; where it is missing, the innermost message that is there.
+/// The place of a field's value by a path such as `class[1].aim`; where it is missing, that of the innermost message around
+/// it.
 pub(crate) fn find(nodes: &[Node], path: &str) -> usize {
-    let (mut nodes, mut at) = (nodes, 0);
+    let mut nodes = nodes;
+    let mut place = 0;
     for step in path.split('.') {
         let (name, index) = match step.split_once('[') {
             Some((name, index)) => (name, index.trim_end_matches(']').parse().unwrap_or(0)),
             None => (step, 0),
         };
-        let Some(node) = nodes.iter().filter(|n| n.name == name).nth(index) else {
-            return at;
+        let Some(node) = nodes.iter().filter(|node| node.name == name).nth(index) else {
+            return place;
         };
-        at = if node.fields.is_some() {
-            node.at
-        } else {
-            node.value_at
+        place = match node.fields {
+            Some(_) => node.start,
+            None => node.value_start,
         };
         nodes = node.fields.as_deref().unwrap_or(&[]);
     }
-    at
+    place
 }
 
 #[cfg(test)]
--- a/crates/textproto/src/locate/tests.rs
+++ b/crates/textproto/src/locate/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 #[test]
-fn fields_are_found_where_they_stand() {
+fn fields_are_found_at_their_places() {
     let text = "# head\nfront { index: 3 # which\n  zone: \"a\" 'b' }\nclass { name: \"x\" }\nclass: < aim: \"1s\"; worth: -2 >\nzone: [\"a\", \"b\"]";
     let nodes = locate(text);
     let here = |path: &str| &text[find(&nodes, path)..];
@@ -17,7 +17,7 @@
 }
 
 #[test]
-fn broken_text_is_followed_as_far_as_it_goes() {
+fn malformed_text_is_located_as_far_as_it_can_be_parsed() {
     assert_eq!(locate("a: 1 b: } c: 2").len(), 1);
     assert!(locate("").is_empty());
 }
--- a/crates/textproto/src/units/tests.rs
+++ b/crates/textproto/src/units/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 #[test]
-fn units_are_told_apart() {
+fn each_unit_accepts_only_its_own_names() {
     assert_eq!(quantity("800ms", Unit::Time), Ok(8e8));
     assert_eq!(quantity("1.5 s", Unit::Time), Ok(1.5e9));
     assert_eq!(quantity("1.8MB/s", Unit::Rate), Ok(1800.0));
