--- a/crates/config/src/check/budgets.rs
+++ b/crates/config/src/check/budgets.rs
@@ -25,14 +25,14 @@
     ) -> Vec<CrossZoneLimit> {
         let mut first_uses = HashMap::new();
         let mut limits = Vec::new();
-        for (i, budget) in budgets.iter().enumerate() {
-            let scope = self.budget_scope(i, budget, zones, classes);
-            if let Some(first) = first_uses.insert(scope, i) {
+        for (index, budget) in budgets.iter().enumerate() {
+            let scope = self.budget_scope(index, budget, zones, classes);
+            if let Some(first) = first_uses.insert(scope, index) {
                 let what =
                     format!("the same zones and class as budget[{first}]; a budget stands once");
-                self.wrong(&format!("budget[{i}].from"), what);
+                self.wrong(&format!("budget[{index}].from"), what);
             }
-            let shared = self.shared_budget(i, budget);
+            let shared = self.shared_budget(index, budget);
             let Some(from) = scope.from else {
                 continue;
             };
@@ -49,12 +49,12 @@
 
     fn budget_scope(
         &mut self,
-        i: usize,
+        index: usize,
         budget: &schema::Budget,
         zones: &Zones,
         classes: &[String],
     ) -> BudgetScope {
-        let path = |field: &str| format!("budget[{i}].{field}");
+        let path = |field: &str| format!("budget[{index}].{field}");
         let from = self.zone_index(&zones.names, &path("from"), &budget.from);
         let to = self.zone_index(&zones.names, &path("to"), &budget.to);
         self.must(
@@ -71,8 +71,8 @@
         BudgetScope { from, to, class }
     }
 
-    fn shared_budget(&mut self, i: usize, budget: &schema::Budget) -> SharedBudget {
-        let path = |field: &str| format!("budget[{i}].{field}");
+    fn shared_budget(&mut self, index: usize, budget: &schema::Budget) -> SharedBudget {
+        let path = |field: &str| format!("budget[{index}].{field}");
         let has_volume = !budget.volume.is_empty() || !budget.period.is_empty();
         // A rate of zero forbids the traffic.
         let rate_kb = self.measure(&path("rate"), &budget.rate, Unit::Rate, 0.0);
--- a/crates/config/src/check/classes.rs
+++ b/crates/config/src/check/classes.rs
@@ -18,9 +18,9 @@
         let names = self.names("class", ".name", &names);
         let mut classes = Vec::with_capacity(raw.len());
         let mut max_wait = Vec::with_capacity(raw.len());
-        for (i, class) in raw.iter().enumerate() {
-            let checked = self.class(i, class, ladder.rung_count());
-            max_wait.push(self.max_wait(i, class, checked.latency_objective));
+        for (index, class) in raw.iter().enumerate() {
+            let checked = self.class(index, class, ladder.rung_count());
+            max_wait.push(self.max_wait(index, class, checked.latency_objective));
             classes.push(checked);
         }
         Classes {
@@ -30,9 +30,9 @@
         }
     }
 
-    fn class(&mut self, i: usize, class: &schema::Class, rungs: u32) -> Class {
-        let path = |field: &str| format!("class[{i}].{field}");
-        let (idempotency, retry_window) = self.idempotency(i, class);
+    fn class(&mut self, index: usize, class: &schema::Class, rungs: u32) -> Class {
+        let path = |field: &str| format!("class[{index}].{field}");
+        let (idempotency, retry_window) = self.idempotency(index, class);
         let latency_objective = self.time(&path("aim"), class.aim());
         let max_rung = self.count(&path("top"), class.top.unwrap_or(rungs - 1), 0, rungs - 1);
         let min_rung = self.count(&path("floor"), class.floor, 0, max_rung);
@@ -50,26 +50,26 @@
     }
 
     /// Whether set-ups of the class may be retried, and within which time, nanoseconds (0: not bounded).
-    fn idempotency(&mut self, i: usize, class: &schema::Class) -> (Idempotency, u64) {
+    fn idempotency(&mut self, index: usize, class: &schema::Class) -> (Idempotency, u64) {
         match class.effect() {
             schema::Effect::Free => (Idempotency::Idempotent, 0),
             schema::Effect::Paid => (Idempotency::AtMostOnce, 0),
             schema::Effect::Guarded => {
-                let path = format!("class[{i}].repeat_within");
+                let path = format!("class[{index}].repeat_within");
                 let retry_window = self.time(&path, &class.repeat_within);
                 let scope = retry_scope(class.group());
                 (Idempotency::IdempotentWithin(scope), retry_window)
             }
             schema::Effect::Unspecified => {
-                let path = format!("class[{i}].effect");
+                let path = format!("class[{index}].effect");
                 self.wrong(&path, "is missing: FREE, GUARDED or PAID");
                 (Idempotency::AtMostOnce, 0)
             }
         }
     }
 
-    fn max_wait(&mut self, i: usize, class: &schema::Class, latency_objective: u64) -> u64 {
-        let path = format!("class[{i}].give_up");
+    fn max_wait(&mut self, index: usize, class: &schema::Class, latency_objective: u64) -> u64 {
+        let path = format!("class[{index}].give_up");
         let max_wait = self.time(&path, class.give_up());
         self.must(
             max_wait >= latency_objective || class.give_up().is_empty(),
--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -86,8 +86,8 @@
 }
 
 impl fmt::Display for HttpError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} ({})", self.detail(), self.status())
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} ({})", self.detail(), self.status())
     }
 }
 
--- a/crates/textproto/src/checks.rs
+++ b/crates/textproto/src/checks.rs
@@ -15,8 +15,8 @@
 }
 
 impl fmt::Display for Problem {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}: {}", self.line, self.column, self.what)
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}:{}: {}", self.line, self.column, self.what)
     }
 }
 
