--- a/crates/daemon/src/event_loop/endpoints.rs
+++ b/crates/daemon/src/event_loop/endpoints.rs
@@ -2,7 +2,7 @@
 use super::EventLoop;
 use crate::server_link::ServerLink;
 use crankpaddle_front::{Endpoint, EndpointListKind, Input, Lifecycle};
-use crankpaddle_server_protocol::list::{self, EndpointEntry, EndpointListBody};
+use crankpaddle_server_protocol::list::{EndpointEntry, EndpointListBody};
 
 impl EventLoop {
     pub(super) fn endpoint_list_received(
@@ -11,7 +11,7 @@
         list: &EndpointListBody,
     ) {
         self.is_list_unavailable = false;
-        if !self.endpoints.take(kind, list) {
+        if !self.endpoints.apply(kind, list) {
             return;
         }
         self.list_writer.write(self.endpoints.text());
@@ -35,7 +35,7 @@
         let config = &self.shared.config;
         let mut endpoints = Vec::with_capacity(entries.len());
         for entry in entries {
-            match list::listing(entry, &config.zones, &config.kinds) {
+            match entry.to_endpoint(&config.zones, &config.kinds) {
                 Some(endpoint) => endpoints.push(endpoint),
                 None => tracing::warn!(
                     server_id = entry.id,
--- a/crates/daemon/src/player.rs
+++ b/crates/daemon/src/player.rs
@@ -69,7 +69,7 @@
     /// Notifies of a session, after the answer that makes it known.
     pub(crate) fn notify(&self, session: RequestId, notification: Value) {
         let mut calls = self.calls();
-        if let Some(value) = calls.notice(session.0, notification) {
+        if let Some(value) = calls.notify(session.0, notification) {
             self.send(&value);
         }
     }
--- a/crates/daemon/src/player_calls.rs
+++ b/crates/daemon/src/player_calls.rs
@@ -104,7 +104,7 @@
 
     fn answer_error(&self, batch: Option<u64>, id: &Id, error: &Error) {
         let mut calls = self.player.calls(); // Held while sending, which never waits; see `Player::answer`.
-        for value in calls.give(batch, None, jsonrpc::error(id, error)) {
+        for value in calls.answer_directly(batch, None, jsonrpc::error(id, error)) {
             self.player.send(&value);
         }
     }
--- a/crates/daemon/src/player_listener.rs
+++ b/crates/daemon/src/player_listener.rs
@@ -43,7 +43,7 @@
         let request = match exchange.request(MOST_BODY, limits.handshake) {
             Ok((request, _)) => request,
             Err(ExchangeError::Bad(reason)) => {
-                let problem = Problem::of(reason.status, reason.what).response(&[CLOSE]);
+                let problem = Problem::of(reason.status(), reason.detail()).response(&[CLOSE]);
                 let _ = socket.write_all(&problem); // The connection ends in any case.
                 return socket.finish(CLOSE_TIMEOUT);
             }
--- a/crates/daemon/src/server_link/stream.rs
+++ b/crates/daemon/src/server_link/stream.rs
@@ -71,7 +71,7 @@
                 Err(error) => return self.stream_ended(shared, &error, has_started),
             };
             match event_stream::read(&event) {
-                Ok(Some(ServerEvent::Hello(start))) => {
+                Ok(Some(ServerEvent::StreamStart(start))) => {
                     let message = ServerMessage::StreamStarted { start, called_at };
                     shared.send_from_server(self.id, message);
                     reachability.stream_started(clock::now());
@@ -79,20 +79,24 @@
                 }
                 Ok(Some(event)) => self.pass_event(shared, event),
                 Ok(None) => {} // A kind that a later release of the server sends.
-                Err(reason) => self.log_malformed(&reason),
+                Err(error) => self.log_malformed(&error.to_string()),
             }
         }
     }
 
     fn pass_event(&self, shared: &Shared, event: ServerEvent) {
         let message = match event {
-            ServerEvent::Hello(_) => return, // Handled by the caller.
-            ServerEvent::Notes(session_name, updates) => ServerMessage::SessionUpdated {
-                session_name,
+            ServerEvent::StreamStart(_) => return, // Handled by the caller.
+            ServerEvent::SessionUpdates { session, updates } => ServerMessage::SessionUpdated {
+                session_name: session,
                 updates,
             },
-            ServerEvent::Over(session_name, outcome, sent_bytes) => ServerMessage::SessionEnded {
-                session_name,
+            ServerEvent::SessionOver {
+                session,
+                outcome,
+                sent_bytes,
+            } => ServerMessage::SessionEnded {
+                session_name: session,
                 outcome,
                 sent_bytes,
             },
--- /dev/null
+++ b/crates/session-api/src/client/tests.rs
@@ -0,0 +1,165 @@
+use super::*;
+use crate::answers::{answer, notice};
+use crate::jsonrpc::{self, Id, Message};
+use crate::methods::{session_number, Method};
+use crate::Version;
+use crankpaddle_front::{
+    Answer, AttemptId, FailureReason, Notification, RejectReason, RequestId, ServerId,
+    SessionEndReason,
+};
+
+#[test]
+fn a_front_reads_what_a_player_writes() {
+    let params = Open {
+        key: "k1234567".into(),
+        title: "t".into(),
+        class: "c".into(),
+        top: Some(2),
+        ..Open::default()
+    };
+    let Message::One(Ok(call)) = jsonrpc::read(&open(5, &params)) else {
+        panic!()
+    };
+    assert_eq!(
+        Method::of(&call.method, call.params),
+        Ok(Method::Open(params))
+    );
+    for (method, params) in [
+        (
+            "session.open",
+            json!({"key": "k1234567", "title": "t", "class": "c", "colour": 1}),
+        ),
+        (
+            "session.open",
+            json!({"key": "short", "title": "t", "class": "c"}),
+        ),
+        ("session.open", json!({"key": "k1234567", "title": "t"})),
+        ("session.close", json!(null)),
+        ("session.resume", json!({"key": "x".repeat(129)})),
+    ] {
+        assert_eq!(
+            Method::of(method, params.clone()).unwrap_err().code,
+            jsonrpc::INVALID_PARAMS,
+            "{params}"
+        );
+    }
+    assert_eq!(
+        Method::of("session.ope", json!({})).unwrap_err().code,
+        jsonrpc::METHOD_NOT_FOUND
+    );
+    assert_eq!(
+        (
+            session_number("s-12"),
+            session_number("s-+1"),
+            session_number("12")
+        ),
+        (Some(12), None, None)
+    );
+}
+
+const CALL: u64 = 7;
+
+fn established() -> Answer {
+    Answer::Established {
+        session: RequestId(3),
+        attempt: AttemptId(1),
+        server: ServerId(2),
+        rung: 1,
+    }
+}
+
+/// The answer of a front to [`CALL`].
+fn answer_to_call(version: Version, to: &Answer, media: &str, zone: &str) -> Value {
+    answer(version, &Id(CALL.into()), to, media, zone)
+}
+
+fn assert_read_as(message: &Value, want: ClientEvent) {
+    assert_eq!(read(&message.to_string()).unwrap(), vec![want]);
+}
+
+#[test]
+fn a_player_reads_the_answers_that_a_front_writes() {
+    let plays = ClientEvent::Plays {
+        id: CALL,
+        session: "s-3".to_owned(),
+        media: "http://x/y".to_owned(),
+        rung: 1,
+    };
+    let rejected = ClientEvent::Refused {
+        id: CALL,
+        reason: "no_room".into(),
+        retry_after_ms: Some(2),
+    };
+    let failed = ClientEvent::Failed {
+        id: CALL,
+        reason: "broken".into(),
+    };
+    for (written, want) in [
+        (established(), plays),
+        (
+            Answer::Rejected(RejectReason::NoCapacity, 1_500_000),
+            rejected,
+        ),
+        (Answer::Failed(FailureReason::ConnectionLost), failed),
+        (Answer::Superseded, ClientEvent::Superseded { id: CALL }),
+        (Answer::UnknownSession, ClientEvent::Unknown { id: CALL }),
+        (Answer::Closed, ClientEvent::Closed { id: CALL }),
+    ] {
+        let message = answer_to_call(Version::V1, &written, "http://x/y", "north");
+        assert_read_as(&message, want);
+    }
+}
+
+#[test]
+fn a_player_reads_the_notifications_that_a_front_writes() {
+    let session = "s-3".to_owned();
+    let ended = Notification::SessionEnded(SessionEndReason::ServerLost, 0);
+    for (written, want) in [
+        (
+            Notification::RungChanged(2),
+            ClientEvent::Rung {
+                session: session.clone(),
+                rung: 2,
+            },
+        ),
+        (
+            Notification::Migrate,
+            ClientEvent::Move {
+                session: session.clone(),
+            },
+        ),
+        (
+            ended,
+            ClientEvent::End {
+                session,
+                reason: "server_lost".into(),
+                retry_after_ms: None,
+            },
+        ),
+    ] {
+        assert_read_as(&notice(RequestId(3), written), want);
+    }
+}
+
+#[test]
+fn texts_that_no_front_writes_are_errors() {
+    assert!(read("{}").is_err());
+    assert!(read("x").is_err());
+}
+
+#[test]
+fn an_older_version_gets_none_of_what_a_newer_one_adds() {
+    let rejected = Answer::Rejected(RejectReason::CrossZoneForbidden, 0);
+    let reason =
+        |version| answer_to_call(version, &rejected, "", "")["error"]["data"]["reason"].clone();
+    assert_eq!(
+        (reason(Version::V1), reason(Version::V2)),
+        ("no_room".into(), "held_at_home".into())
+    );
+    let zone =
+        |version| answer_to_call(version, &established(), "m", "north")["result"]["hall"].clone();
+    assert_eq!(
+        (zone(Version::V1), zone(Version::V2)),
+        (Value::Null, "north".into())
+    );
+}
--- a/crates/traffic-report/src/error.rs
+++ b/crates/traffic-report/src/error.rs
@@ -1,5 +1,5 @@
 //! Errors of this package. Their texts are part of the command line's output.
-use crankpaddle_http::head;
+use crankpaddle_http::HttpError;
 use plotters::drawing::DrawingAreaErrorKind;
 use std::io;
 use thiserror::Error;
@@ -14,8 +14,8 @@
     #[error("is no report of traffic: {0}")]
     InvalidReport(#[from] serde_json::Error),
     /// The front's response is not valid HTTP.
-    #[error("answered no HTTP: {}", .0.what)]
-    InvalidHttp(#[source] head::Bad),
+    #[error("answered no HTTP: {}", .0.detail())]
+    InvalidHttp(#[source] HttpError),
     /// The connection was closed before the response was complete.
     #[error("broke off within its answer")]
     IncompleteResponse,
--- a/crates/traffic-report/src/source.rs
+++ b/crates/traffic-report/src/source.rs
@@ -67,7 +67,7 @@
     let mut content = Vec::new();
     body.feed(&bytes[head_length..], &mut content)
         .map_err(SourceError::InvalidHttp)?;
-    if !body.may_close() {
+    if !body.may_end_at_close() {
         return Err(SourceError::IncompleteResponse);
     }
     Ok(content)
