--- a/crates/node/examples/platform.rs
+++ b/crates/node/examples/platform.rs
@@ -1,9 +1,9 @@
 //! A platform to try a front node against: one stand-in server that sets everything up and one stand-in directory, on
 //! loopback. Prints the node's configuration and stays in the foreground.
-#[path = "../tests/rig/mod.rs"]
-mod rig;
-use rig::{configuration, lines, session_of, stands, Directory, Server, Told};
+#[path = "../tests/support/mod.rs"]
+mod support;
 use std::io::Write;
+use support::{configuration, lines, session_of, stands, Directory, Server, Told};
 
 fn main() -> std::io::Result<()> {
     let servers = [Server::start(1)];
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -1,13 +1,13 @@
 //! The one place where all is heard in one order and acted on: it owns the core. It never waits for a socket.
 mod attempt_dispatch;
 mod client_requests;
-mod list;
+mod endpoint_list;
+mod server_links;
 mod server_messages;
-mod servers;
 
 use crate::connection_table::{Conn, ConnId};
 use crate::health::{Dialed, Health};
-use crate::links;
+use crate::server_connector;
 use crate::shared::{count, LinkId, Msg, Shared};
 use attempt_dispatch::{Leaving, LOOK_AGAIN};
 use crankpaddle_front::{
--- a/crates/node/src/event_loop/servers.rs
+++ b/crates/node/src/event_loop/server_links.rs
@@ -1,8 +1,8 @@
 //! Links to servers: where a set-up is written, and what becomes of it when they break.
 use super::{
-    cause, clock, links, rtsp, Arc, AttemptId, AttemptOutcome, Dialed, EventLoop, Input, Link,
-    LinkId, Live, LoadReport, PlayerId, ServerId, SetUpResult, Time, WriteBuffer, ABANDONED_FOR,
-    RELEASE_FOR,
+    cause, clock, rtsp, server_connector, Arc, AttemptId, AttemptOutcome, Dialed, EventLoop, Input,
+    Link, LinkId, Live, LoadReport, PlayerId, ServerId, SetUpResult, Time, WriteBuffer,
+    ABANDONED_FOR, RELEASE_FOR,
 };
 
 impl Link {
@@ -139,7 +139,7 @@
             dialed: heard,
         };
         self.links.insert(link, dialed);
-        links::dial(&self.shared, link, server.address);
+        server_connector::dial(&self.shared, link, server.address);
         Some(link)
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,9 +16,9 @@
 mod directory_poller;
 mod event_loop;
 mod health;
-mod links;
+mod server_connector;
 mod shared;
-mod viewers;
+mod viewer_connections;
 
 use crankpaddle_front::EventObserver;
 use crankpaddle_net::{accept_while_capacity, listen, spawn, Stack};
@@ -66,8 +66,8 @@
         accept_while_capacity(
             listener,
             stopped.clone(),
-            move || viewers::make_room(&for_room),
-            move |socket, place| viewers::serve(socket, &place, &of_viewers),
+            move || viewer_connections::make_room(&for_room),
+            move |socket, place| viewer_connections::serve(socket, &place, &of_viewers),
         );
         tracing::info!(%address, "listening");
         Ok(Node {
--- a/crates/node/tests/events.rs
+++ b/crates/node/tests/events.rs
@@ -1,12 +1,12 @@
 //! What the decision module hears: from sockets the same, in the same order, as on the simulator's wire.
 #![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
-mod rig;
+mod support;
 use crankpaddle::{EndpointListKind, Event, LoadField, RequestId};
 use crankpaddle_node_protocol::rtsp;
 use crankpaddle_simhost::wire::{name_report, Batch, Record};
-use rig::*;
 use std::collections::BTreeMap;
 use std::sync::mpsc::{channel, Receiver};
+use support::*;
 
 /// An event as text, without times, and with requests numbered in the order in which they are first named.
 #[derive(Default)]
--- a/crates/node/tests/made_up.rs
+++ b/crates/node/tests/made_up.rs
@@ -1,10 +1,10 @@
 //! A deployment that nobody has: other class names, three effects, no zones, seven tenants, a floor over the lowest rung. All of it
 //! comes from the settings; servers answer in every way there is, and the rules hold.
 #![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
-mod rig;
-use rig::*;
+mod support;
 use serde_json::json;
 use std::collections::BTreeMap;
+use support::*;
 
 const CLASSES: [&str; 3] = ["amber", "birch", "cedar"];
 const REQUESTS: u64 = 63;
--- a/crates/node/tests/rough.rs
+++ b/crates/node/tests/rough.rs
@@ -1,9 +1,9 @@
 //! Bad clients, bad servers and a bad directory, over sockets.
 #![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
-mod rig;
-use rig::*;
+mod support;
 use serde_json::json;
 use std::time::Instant;
+use support::*;
 
 #[test]
 fn what_a_spoilt_answer_looks_like_makes_no_difference() {
--- a/crates/node/tests/sessions.rs
+++ b/crates/node/tests/sessions.rs
@@ -1,7 +1,7 @@
 //! Sessions from set-up to end over sockets, each hard case provoked by stand-ins.
-mod rig;
-use rig::*;
+mod support;
 use serde_json::json;
+use support::*;
 
 #[test]
 fn a_session_from_its_set_up_to_its_end() {
