--- a/crates/node-protocol/src/lib.rs
+++ b/crates/node-protocol/src/lib.rs
@@ -1,14 +1,14 @@
-//! What a front node speaks, without I/O: bytes in, typed messages or a typed fault out, and the other way round.
+//! What a front node exchanges with viewers, servers and the directory, without I/O: bytes in, typed messages or a typed error
+//! out, and the other way round.
 //!
 //! - [`viewers`]: JSON lines with viewers;
 //! - [`rtsp`]: with servers;
 //! - [`directory`]: DNS with the directory;
 //! - [`config`]: the configuration that a node is started with.
 //!
-//! The two decoders are incremental: they are fed what a socket gives, hold what is not whole yet, and never more than
-//! [`MOST`] bytes of it, whatever length a peer claims. After a fault a stream is of no use: nothing behind it can be
+//! The two decoders are incremental: they are fed what a socket gives, buffer what is not complete yet, and never more than
+//! [`MAX_MESSAGE_BYTES`] of it, whatever length a peer claims. After an error a stream is of no use: nothing behind it can be
 //! trusted to begin where it seems to.
-#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 pub mod config;
@@ -18,8 +18,8 @@
 mod tag;
 pub mod viewers;
 
-pub use receive_buffer::ReceiveBuffer;
+pub(crate) use receive_buffer::ReceiveBuffer;
 pub use tag::Tag;
 
-/// No message is longer, in bytes.
-pub const MOST: usize = 16 * 1024;
+/// No message of a viewer or server is longer, in bytes.
+pub const MAX_MESSAGE_BYTES: usize = 16 * 1024;
--- /dev/null
+++ b/crates/node-protocol/src/rtsp/decode.rs
@@ -0,0 +1,216 @@
+//! Decoding what servers send.
+use super::{Kind, Message};
+use crate::{ReceiveBuffer, Tag, MAX_MESSAGE_BYTES};
+use thiserror::Error;
+
+const VERSION: &str = "RTSP/1.0";
+
+/// Why a stream is of no use any more.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum DecodeError {
+    /// A message is longer, or claims to be, than any may be.
+    #[error("a message that is too long")]
+    TooLong,
+    /// The first line is none.
+    #[error("a first line that is none")]
+    StartLine,
+    /// A header is none, or one that must stand once stands more often.
+    #[error("a header that is none")]
+    Header,
+    /// The length of the body is missing or no number.
+    #[error("a body without a length")]
+    Length,
+    /// The text of a header is not UTF-8.
+    #[error("text that is not UTF-8")]
+    Text,
+}
+
+/// Reads what a server's connection gives.
+#[derive(Debug, Default)]
+pub struct Decoder(ReceiveBuffer);
+
+impl Decoder {
+    /// Takes bytes and adds the messages that are complete now to `messages`.
+    ///
+    /// # Errors
+    /// The stream is of no use any more; what was read before the error is in `messages`.
+    pub fn feed(&mut self, bytes: &[u8], messages: &mut Vec<Message>) -> Result<(), DecodeError> {
+        self.0.feed(bytes, |rest| {
+            let Some(decoded) = decode_message(rest)? else {
+                return Ok(0);
+            };
+            messages.push(decoded.message);
+            Ok(decoded.length)
+        })
+    }
+
+    /// Whether a message is partially received.
+    #[must_use]
+    pub fn has_partial_message(&self) -> bool {
+        !self.0.is_empty()
+    }
+}
+
+/// A message, and how many bytes it takes.
+struct Decoded {
+    message: Message,
+    length: usize,
+}
+
+/// A line without its end, and how many bytes it takes with it.
+struct Line<'a> {
+    text: &'a [u8],
+    length: usize,
+}
+
+/// The first line of `rest`, if it is complete.
+fn first_line(rest: &[u8]) -> Option<Line<'_>> {
+    let end = rest.iter().position(|byte| *byte == b'\n')?;
+    let text = &rest[..end];
+    Some(Line {
+        text: text.strip_suffix(b"\r").unwrap_or(text),
+        length: end + 1,
+    })
+}
+
+/// Reads one message from the start of `rest`; none while more must be received.
+fn decode_message(rest: &[u8]) -> Result<Option<Decoded>, DecodeError> {
+    let head = &rest[..rest.len().min(MAX_MESSAGE_BYTES)];
+    let Some(first) = first_line(head) else {
+        return incomplete_first_line(rest);
+    };
+    let kind = start_line(first.text)?;
+    let mut headers = Headers::default();
+    let mut position = first.length;
+    loop {
+        let Some(line) = first_line(&head[position..]) else {
+            return incomplete(rest);
+        };
+        position += line.length;
+        if line.text.is_empty() {
+            break;
+        }
+        headers.read(line.text)?;
+    }
+    // Why: a claimed length is never trusted with memory or time; what can't be a message ends the stream at once.
+    let body_length = headers.content_length.ok_or(DecodeError::Length)?;
+    let end = position
+        .checked_add(body_length)
+        .filter(|end| *end <= MAX_MESSAGE_BYTES)
+        .ok_or(DecodeError::TooLong)?;
+    let Some(body) = rest.get(position..end) else {
+        return Ok(None);
+    };
+    let message = Message {
+        kind,
+        cseq: headers.cseq.flatten(),
+        session: headers.session.flatten(),
+        headers: headers.others,
+        body: body.to_vec(),
+    };
+    Ok(Some(Decoded {
+        message,
+        length: end,
+    }))
+}
+
+/// More must be received, unless it is too much already.
+fn incomplete(rest: &[u8]) -> Result<Option<Decoded>, DecodeError> {
+    if rest.len() >= MAX_MESSAGE_BYTES {
+        return Err(DecodeError::TooLong);
+    }
+    Ok(None)
+}
+
+/// What begins like no message is an error at once: its end need not be waited for.
+fn incomplete_first_line(rest: &[u8]) -> Result<Option<Decoded>, DecodeError> {
+    let may_be_message = rest.first().is_none_or(u8::is_ascii_uppercase);
+    if !may_be_message {
+        return Err(DecodeError::StartLine);
+    }
+    incomplete(rest)
+}
+
+/// A message's headers. The three that must stand once at most are kept apart: the outer option is whether one stands there, the
+/// inner whether it can be read.
+#[derive(Default)]
+struct Headers {
+    content_length: Option<usize>,
+    cseq: Option<Option<u32>>,
+    session: Option<Option<Tag>>,
+    others: Vec<(String, String)>,
+}
+
+impl Headers {
+    fn read(&mut self, line: &[u8]) -> Result<(), DecodeError> {
+        let text = std::str::from_utf8(line).map_err(|_| DecodeError::Text)?;
+        let (name, value) = text.split_once(':').ok_or(DecodeError::Header)?;
+        if !is_header_name(name) {
+            return Err(DecodeError::Header);
+        }
+        let value = value.trim();
+        if name.eq_ignore_ascii_case("Content-Length") {
+            let length = decimal(value).ok_or(DecodeError::Length)?;
+            set_once(&mut self.content_length, length)
+        } else if name.eq_ignore_ascii_case("CSeq") {
+            set_once(&mut self.cseq, value.parse().ok())
+        } else if name.eq_ignore_ascii_case("Session") {
+            set_once(&mut self.session, Tag::parse(value))
+        } else {
+            self.others.push((name.to_owned(), value.to_owned()));
+            Ok(())
+        }
+    }
+}
+
+fn set_once<T>(header: &mut Option<T>, value: T) -> Result<(), DecodeError> {
+    match header.replace(value) {
+        None => Ok(()),
+        Some(_) => Err(DecodeError::Header),
+    }
+}
+
+fn is_header_name(name: &str) -> bool {
+    let is_name_byte = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-';
+    !name.is_empty() && name.bytes().all(is_name_byte)
+}
+
+/// A number of nothing but digits.
+fn decimal(text: &str) -> Option<usize> {
+    let is_digits = text.bytes().all(|byte| byte.is_ascii_digit());
+    if !is_digits {
+        return None;
+    }
+    text.parse().ok()
+}
+
+fn start_line(text: &[u8]) -> Result<Kind, DecodeError> {
+    let text = std::str::from_utf8(text).map_err(|_| DecodeError::StartLine)?;
+    let mut words = text.splitn(3, ' ');
+    let (Some(first), Some(second)) = (words.next(), words.next()) else {
+        return Err(DecodeError::StartLine);
+    };
+    if first == VERSION {
+        let status = response_status(second).ok_or(DecodeError::StartLine)?;
+        return Ok(Kind::Response(status));
+    }
+    if is_method(first) && second.starts_with("rtsp://") && words.next() == Some(VERSION) {
+        return Ok(Kind::Request(first.to_owned(), second.to_owned()));
+    }
+    Err(DecodeError::StartLine)
+}
+
+fn response_status(text: &str) -> Option<u16> {
+    let is_three_digits = text.len() == 3 && text.bytes().all(|byte| byte.is_ascii_digit());
+    if !is_three_digits {
+        return None;
+    }
+    text.parse()
+        .ok()
+        .filter(|status| (100..600).contains(status))
+}
+
+fn is_method(text: &str) -> bool {
+    let is_method_byte = |byte: u8| byte.is_ascii_uppercase() || byte == b'_';
+    !text.is_empty() && text.bytes().all(is_method_byte)
+}
--- /dev/null
+++ b/crates/node-protocol/src/rtsp/encode.rs
@@ -0,0 +1,85 @@
+//! Encoding what servers are sent.
+use super::cseq;
+use crate::Tag;
+use std::fmt::Write;
+
+/// What a server is requested to set up.
+#[derive(Clone, Copy, Debug)]
+pub struct SetUp<'a> {
+    /// The session.
+    pub tag: Tag,
+    /// The title as it came.
+    pub title: &'a str,
+    /// The class's name.
+    pub class: &'a str,
+    /// How long the front node waits, milliseconds.
+    pub patience: u64,
+    /// The rung.
+    pub rung: u8,
+    /// The description, byte for byte.
+    pub blob: &'a str,
+}
+
+/// The head of a request, up to the headers that it alone has. Writing to a string does not fail.
+fn request(method: &str, address: &str, cseq: u32, tag: Tag) -> String {
+    let mut text = format!("{method} rtsp://media/{address} RTSP/1.0\r\nCSeq: {cseq}\r\n");
+    let _ = write!(text, "Session: {tag}\r\n");
+    text
+}
+
+/// Ends the headers and adds the body.
+fn finish(mut text: String, body: &str) -> Vec<u8> {
+    let _ = write!(text, "Content-Length: {}\r\n\r\n{body}", body.len());
+    text.into_bytes()
+}
+
+/// A set-up.
+#[must_use]
+pub fn set_up(set_up: &SetUp<'_>) -> Vec<u8> {
+    let mut text = request("SETUP", set_up.title, cseq::SET_UP, set_up.tag);
+    let _ = write!(
+        text,
+        "Subject: {}\r\nX-Patience: {}\r\nRate-Step: {}\r\n",
+        set_up.class, set_up.patience, set_up.rung
+    );
+    finish(text, set_up.blob)
+}
+
+/// Cancels a set-up that has no answer.
+#[must_use]
+pub fn cancel(tag: Tag) -> Vec<u8> {
+    let text = request("TEARDOWN", tag.as_str(), cseq::TEAR_DOWN, tag);
+    finish(text, "")
+}
+
+/// Releases a session that is established, or may be.
+#[must_use]
+pub fn release(tag: Tag, cause: u16) -> Vec<u8> {
+    let mut text = request("TEARDOWN", tag.as_str(), cseq::TEAR_DOWN, tag);
+    let _ = write!(text, "Reason: cause={cause}\r\n");
+    finish(text, "")
+}
+
+/// Changes a session's rung.
+#[must_use]
+pub fn set_rung(tag: Tag, rung: u8) -> Vec<u8> {
+    let mut text = request("SET_PARAMETER", tag.as_str(), cseq::NOTE, tag);
+    let _ = write!(text, "Rate-Step: {rung}\r\n");
+    finish(text, "")
+}
+
+/// Requests a load report.
+#[must_use]
+pub fn health_check(tag: Tag) -> Vec<u8> {
+    finish(request("OPTIONS", "load", cseq::OPTIONS, tag), "")
+}
+
+/// Acknowledges a server's request.
+#[must_use]
+pub fn acknowledge(cseq: u32, tag: Option<Tag>) -> Vec<u8> {
+    let mut text = format!("RTSP/1.0 200 OK\r\nCSeq: {cseq}\r\n");
+    if let Some(tag) = tag {
+        let _ = write!(text, "Session: {tag}\r\n");
+    }
+    finish(text, "")
+}
--- /dev/null
+++ b/crates/node-protocol/src/viewers/set_up_params.rs
@@ -0,0 +1,148 @@
+//! The figures of a set-up.
+use super::SetUp;
+use crate::Tag;
+
+/// The largest hint of a duration, milliseconds.
+const MAX_DURATION_HINT: f64 = 1e12;
+/// Cells and rungs are numbered below this.
+const SMALL_LIMIT: u32 = 65_536;
+
+/// What a set-up requests, in numbers; the names are looked up where the settings are known. The fields' names on the wire are the
+/// protocol's: `left`, `retry`, `key`, `hint`, and in `extras` `home`, `copies`, `top`, `again`, `moved`, `at`.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct SetUpParams {
+    /// Name of the class.
+    pub class: String,
+    /// Name of the tenant, where there are tenants.
+    pub tenant: Option<String>,
+    /// How long the viewer waits, milliseconds; 0 where it plays already.
+    pub max_wait_ms: u64,
+    /// Whether it is marked as a retry, or as coming again.
+    pub is_retry: bool,
+    /// Whether it comes back from a migration.
+    pub is_migration: bool,
+    /// The title as it came, which is how it is passed on.
+    pub title_text: String,
+    /// The title's number.
+    pub title: u64,
+    /// A guess of how long it is watched, milliseconds.
+    pub duration_hint_ms: Option<f64>,
+    /// First cell that holds the title.
+    pub first_cell: u32,
+    /// Cells that hold it.
+    pub cell_count: u32,
+    /// Best rung of the viewer.
+    pub max_rung: u8,
+    /// Who watches.
+    pub viewer: u64,
+    /// The server at which it plays already.
+    pub current_server: Option<String>,
+}
+
+impl SetUp {
+    /// The figures of a set-up.
+    ///
+    /// # Errors
+    /// A field is missing or out of range: its name.
+    pub fn set_up_params(&self) -> Result<SetUpParams, &'static str> {
+        let opt = |name| self.opts.get(name).map(String::as_str);
+        let mut params = SetUpParams {
+            class: opt("class").ok_or("class")?.to_owned(),
+            tenant: opt("tenant").map(str::to_owned),
+            is_retry: flag(opt("retry")).ok_or("retry")?,
+            ..SetUpParams::default()
+        };
+        if let Some(hint) = opt("hint") {
+            params.duration_hint_ms = Some(duration_hint(hint).ok_or("hint")?);
+        }
+        let key = opt("key").ok_or("key")?;
+        params.title = hex(key).ok_or("key")?;
+        key.clone_into(&mut params.title_text);
+        params.read_extras(opt("extras").ok_or("extras")?)?;
+        params.max_wait_ms = params.max_wait(opt("left"))?;
+        if params.current_server.is_none() && self.blob.is_none() {
+            return Err("blob");
+        }
+        Ok(params)
+    }
+}
+
+impl SetUpParams {
+    /// Reads the fields that come in one text, `name:value;name:value`. Four of them must stand there.
+    fn read_extras(&mut self, extras: &str) -> Result<(), &'static str> {
+        let mut required = 0;
+        for part in extras.split(';').filter(|part| !part.is_empty()) {
+            let (name, value) = part.split_once(':').ok_or("extras")?;
+            self.read_extra(name, value)?;
+            required += u32::from(matches!(name, "home" | "copies" | "top" | "viewer"));
+        }
+        if required != 4 {
+            return Err("extras");
+        }
+        Ok(())
+    }
+
+    fn read_extra(&mut self, name: &str, value: &str) -> Result<(), &'static str> {
+        match name {
+            "home" => self.first_cell = small_number(value).ok_or("home")?,
+            "copies" => {
+                let copies = small_number(value).filter(|copies| *copies > 0);
+                self.cell_count = copies.ok_or("copies")?;
+            }
+            "top" => {
+                let top = small_number(value).and_then(|top| u8::try_from(top).ok());
+                self.max_rung = top.ok_or("top")?;
+            }
+            "viewer" => self.viewer = hex(value).ok_or("viewer")?,
+            "again" => self.is_retry |= flag(Some(value)).ok_or("again")?,
+            "moved" => self.is_migration = flag(Some(value)).ok_or("moved")?,
+            "at" => self.current_server = Some(value.to_owned()),
+            _ => {} // Fields may be added.
+        }
+        Ok(())
+    }
+
+    /// How long the viewer waits. Nobody waits for a session that plays already: what the field holds there means nothing.
+    fn max_wait(&self, left: Option<&str>) -> Result<u64, &'static str> {
+        let left = left.and_then(decimal).filter(|left| *left > 0);
+        if self.current_server.is_some() {
+            return Ok(left.unwrap_or(0));
+        }
+        left.ok_or("left")
+    }
+}
+
+fn duration_hint(text: &str) -> Option<f64> {
+    let hint: f64 = text.parse().ok()?;
+    let is_in_range = hint.is_finite() && (0.0..=MAX_DURATION_HINT).contains(&hint);
+    is_in_range.then_some(hint)
+}
+
+/// A number of nothing but digits.
+fn decimal(text: &str) -> Option<u64> {
+    let is_digits = text.bytes().all(|byte| byte.is_ascii_digit());
+    if !is_digits {
+        return None;
+    }
+    text.parse().ok()
+}
+
+fn small_number(text: &str) -> Option<u32> {
+    let number = u32::try_from(decimal(text)?).ok()?;
+    (number < SMALL_LIMIT).then_some(number)
+}
+
+/// A number of 16 hex digits.
+fn hex(text: &str) -> Option<u64> {
+    Tag::parse(text)?;
+    u64::from_str_radix(text, 16).ok()
+}
+
+/// A flag that is not set is missing or `0`.
+fn flag(text: Option<&str>) -> Option<bool> {
+    match text {
+        None | Some("0") => Some(false),
+        Some("1") => Some(true),
+        Some(_) => None,
+    }
+}
--- a/crates/node-protocol/tests/codecs.rs
+++ b/crates/node-protocol/tests/codecs.rs
@@ -1,7 +1,7 @@
 //! The stream codecs: whole messages, byte by byte, garbage, and lengths that lie.
 use crankpaddle_node_protocol::rtsp::{self, Kind};
 use crankpaddle_node_protocol::viewers::{self, Message};
-use crankpaddle_node_protocol::{Tag, MOST};
+use crankpaddle_node_protocol::{Tag, MAX_MESSAGE_BYTES};
 use proptest::prelude::*;
 
 fn tag(n: u64) -> Tag {
@@ -29,13 +29,13 @@
 }
 
 /// The messages, and whether the stream broke.
-fn viewers_said(bytes: &[u8], pieces: &[usize]) -> (Vec<Message>, Option<viewers::Fault>) {
+fn viewers_said(bytes: &[u8], pieces: &[usize]) -> (Vec<Message>, Option<viewers::DecodeError>) {
     let (mut decoder, mut out) = (viewers::Decoder::default(), Vec::new());
     let fault = cut(bytes, pieces, |piece| decoder.feed(piece, &mut out));
     (out, fault)
 }
 
-fn servers_said(bytes: &[u8], pieces: &[usize]) -> (Vec<rtsp::Message>, Option<rtsp::Fault>) {
+fn servers_said(bytes: &[u8], pieces: &[usize]) -> (Vec<rtsp::Message>, Option<rtsp::DecodeError>) {
     let (mut decoder, mut out) = (rtsp::Decoder::default(), Vec::new());
     let fault = cut(bytes, pieces, |piece| decoder.feed(piece, &mut out));
     (out, fault)
@@ -50,7 +50,7 @@
 const EXTRAS: &str = "home:4;copies:3;top:4;viewer:00000000b4d65521";
 
 fn ask(extras: &str, left: &str) -> Result<viewers::SetUpParams, &'static str> {
-    let (messages, fault) = viewers_said(&start(1, extras, left, "x"), &[MOST]);
+    let (messages, fault) = viewers_said(&start(1, extras, left, "x"), &[MAX_MESSAGE_BYTES]);
     assert_eq!(fault, None);
     match messages.as_slice() {
         [Message::Start(start)] => start.set_up_params(),
@@ -65,18 +65,32 @@
         "1500",
     )
     .expect("in range");
-    assert_eq!((ask.home, ask.copies, ask.top, ask.left), (4, 3, 4, 1500));
+    assert_eq!(
+        (
+            ask.first_cell,
+            ask.cell_count,
+            ask.max_rung,
+            ask.max_wait_ms
+        ),
+        (4, 3, 4, 1500)
+    );
     assert_eq!(
         (ask.viewer, ask.title),
         (0xb4d6_5521, 0x7f3a_9c21_e0b4_d655)
     );
-    assert_eq!((ask.again, ask.moved, ask.at), (true, false, None));
+    assert_eq!(
+        (ask.is_retry, ask.is_migration, ask.current_server),
+        (true, false, None)
+    );
 }
 
 #[test]
 fn one_that_plays_already_names_its_server_and_no_time() {
     let ask = ask(&format!("{EXTRAS};at:s-00c41f7a"), "-1").expect("its time means nothing");
-    assert_eq!((ask.at.as_deref(), ask.left), (Some("s-00c41f7a"), 0));
+    assert_eq!(
+        (ask.current_server.as_deref(), ask.max_wait_ms),
+        (Some("s-00c41f7a"), 0)
+    );
 }
 
 #[test]
@@ -133,20 +147,23 @@
     ] {
         let mut bytes = viewers::finish(tag(7), 16, None);
         bytes.extend_from_slice(bad.as_bytes());
-        let (messages, fault) = viewers_said(&bytes, &[MOST]);
+        let (messages, fault) = viewers_said(&bytes, &[MAX_MESSAGE_BYTES]);
         assert_eq!(messages, [Message::Finish { tag: tag(7), cause: 16 }], "{bad:?}");
-        assert!(matches!(fault, Some(viewers::Fault::NoMessage(_))), "{bad:?}: {fault:?}");
+        assert!(matches!(fault, Some(viewers::DecodeError::NoMessage(_))), "{bad:?}: {fault:?}");
     }
 }
 
 #[test]
 fn an_endless_line_ends_at_the_bound() {
-    let (messages, fault) = viewers_said(&vec![b'x'; 3 * MOST], &[1000]);
-    assert_eq!((messages.len(), fault), (0, Some(viewers::Fault::TooLong)));
-    let (_, fault) = viewers_said(&vec![b'x'; MOST - 1], &[1000]);
+    let (messages, fault) = viewers_said(&vec![b'x'; 3 * MAX_MESSAGE_BYTES], &[1000]);
+    assert_eq!(
+        (messages.len(), fault),
+        (0, Some(viewers::DecodeError::TooLong))
+    );
+    let (_, fault) = viewers_said(&vec![b'x'; MAX_MESSAGE_BYTES - 1], &[1000]);
     assert_eq!(fault, None, "not whole, and it may still become a message");
-    let longest = start(1, EXTRAS, "9", &"y".repeat(MOST - 400));
-    assert!(longest.len() < MOST);
+    let longest = start(1, EXTRAS, "9", &"y".repeat(MAX_MESSAGE_BYTES - 400));
+    assert!(longest.len() < MAX_MESSAGE_BYTES);
     assert_eq!(viewers_said(&longest, &[1000]).0.len(), 1);
 }
 
@@ -198,7 +215,7 @@
     assert!(text(rtsp::cancel(tag(1))).starts_with("TEARDOWN rtsp://media/"));
     assert!(!text(rtsp::cancel(tag(1))).contains("Reason"));
     assert!(text(rtsp::release(tag(1), 16)).contains("\r\nReason: cause=16\r\n"));
-    assert!(text(rtsp::rate(tag(1), 2)).contains("\r\nRate-Step: 2\r\n"));
+    assert!(text(rtsp::set_rung(tag(1), 2)).contains("\r\nRate-Step: 2\r\n"));
 }
 
 fn answer(n: u64, body: &str) -> Vec<u8> {
@@ -224,7 +241,7 @@
 fn notes_and_releases_are_read() {
     let head = "ANNOUNCE rtsp://media/x RTSP/1.0\r\nCSeq: 9\r\nSession: 00000000000000ab\r\n";
     let bytes = format!("{head}X-Note: link_use\r\nFigure: 0.925\r\nContent-Length: 0\r\n\r\n");
-    let (messages, _) = servers_said(bytes.as_bytes(), &[MOST]);
+    let (messages, _) = servers_said(bytes.as_bytes(), &[MAX_MESSAGE_BYTES]);
     assert_eq!(messages[0].note(), Some(("link_use", 0.925)));
     let bytes = rtsp::release(tag(3), 41);
     assert_eq!(servers_said(&bytes, &[1]).0[0].cause(), Some(41));
@@ -235,21 +252,27 @@
 fn lengths_that_lie_are_never_waited_for() {
     let with = |length: &str| format!("RTSP/1.0 200 OK\r\nCSeq: 1\r\n{length}\r\n");
     for (head, fault) in [
-        ("Content-Length: 3000000000\r\n", rtsp::Fault::TooLong),
+        ("Content-Length: 3000000000\r\n", rtsp::DecodeError::TooLong),
         (
             "Content-Length: 99999999999999999999999\r\n",
-            rtsp::Fault::Length,
+            rtsp::DecodeError::Length,
         ),
-        ("Content-Length: -1\r\n", rtsp::Fault::Length),
-        ("Content-Length: 16384\r\n", rtsp::Fault::TooLong),
-        ("Content-Length: \r\n", rtsp::Fault::Length),
-        ("", rtsp::Fault::Length),
+        ("Content-Length: -1\r\n", rtsp::DecodeError::Length),
+        ("Content-Length: 16384\r\n", rtsp::DecodeError::TooLong),
+        ("Content-Length: \r\n", rtsp::DecodeError::Length),
+        ("", rtsp::DecodeError::Length),
         (
             "Content-Length: 0\r\nContent-Length: 5\r\n",
-            rtsp::Fault::Header,
+            rtsp::DecodeError::Header,
+        ),
+        (
+            "CSeq: 2\r\nContent-Length: 0\r\n",
+            rtsp::DecodeError::Header,
+        ),
+        (
+            "no header\r\nContent-Length: 0\r\n",
+            rtsp::DecodeError::Header,
         ),
-        ("CSeq: 2\r\nContent-Length: 0\r\n", rtsp::Fault::Header),
-        ("no header\r\nContent-Length: 0\r\n", rtsp::Fault::Header),
     ] {
         assert_eq!(
             servers_said(with(head).as_bytes(), &[7]).1,
@@ -260,16 +283,19 @@
     // A body longer than its length: what follows does not begin like a message.
     let mut bytes = answer(1, "abc");
     bytes.extend_from_slice(b"rest of the body\r\n");
-    let (messages, fault) = servers_said(&bytes, &[MOST]);
-    assert_eq!((messages.len(), fault), (1, Some(rtsp::Fault::StartLine)));
+    let (messages, fault) = servers_said(&bytes, &[MAX_MESSAGE_BYTES]);
+    assert_eq!(
+        (messages.len(), fault),
+        (1, Some(rtsp::DecodeError::StartLine))
+    );
     assert_eq!(
-        servers_said(&vec![b'A'; 2 * MOST], &[999]).1,
-        Some(rtsp::Fault::TooLong),
+        servers_said(&vec![b'A'; 2 * MAX_MESSAGE_BYTES], &[999]).1,
+        Some(rtsp::DecodeError::TooLong),
         "a line without end"
     );
     assert_eq!(
         servers_said(b"\x00\x01\x02", &[1]).1,
-        Some(rtsp::Fault::StartLine),
+        Some(rtsp::DecodeError::StartLine),
         "noise is seen at once"
     );
 }
--- a/crates/node-protocol/tests/config.rs
+++ b/crates/node-protocol/tests/config.rs
@@ -69,13 +69,16 @@
         (without(&["settings", "family-info", "cells"]), "cells"),
         (without(&["limits", "sockets"]), "sockets"),
     ] {
-        let error = Config::parse(value.to_string().as_bytes()).expect_err("incomplete");
+        let error = Config::parse(value.to_string().as_bytes())
+            .expect_err("incomplete")
+            .to_string();
         assert!(error.contains(what) && !error.contains('\n'), "{error}");
     }
     let mut value = whole();
     value["seed"] = json!("not hex");
     assert!(Config::parse(value.to_string().as_bytes())
         .expect_err("bad")
+        .to_string()
         .contains("seed"));
     for broken in ["", "{", "[]", "null", "\u{0}"] {
         assert!(Config::parse(broken.as_bytes()).is_err(), "{broken:?}");
--- a/crates/node-protocol/tests/directory.rs
+++ b/crates/node-protocol/tests/directory.rs
@@ -1,5 +1,5 @@
 //! The directory's answers, made here with the same DNS library that other programs use, and spoilt by hand.
-use crankpaddle_node_protocol::directory::{answer, query, Fault, State};
+use crankpaddle_node_protocol::directory::{parse_response, query, ResponseError, State};
 use hickory_proto::op::{Message, MessageType, OpCode, ResponseCode};
 use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
 use hickory_proto::rr::{Name, RData, Record, RecordType};
@@ -69,7 +69,7 @@
 
 #[test]
 fn a_whole_list_is_read_with_its_serial() {
-    let list = answer(5, &bytes(&listed(5, 41, &TWO))).expect("a list");
+    let list = parse_response(5, &bytes(&listed(5, 41, &TWO))).expect("a list");
     assert_eq!(list.serial, 41);
     let [a, b] = list.entries.as_slice() else {
         panic!("{list:?}")
@@ -92,34 +92,40 @@
 #[test]
 fn answers_that_say_nothing_are_told_apart() {
     let good = listed(5, 41, &TWO);
-    assert_eq!(answer(6, &bytes(&good)), Err(Fault::OtherId));
+    assert_eq!(
+        parse_response(6, &bytes(&good)),
+        Err(ResponseError::OtherId)
+    );
     let with = |change: &dyn Fn(&mut Message)| {
         let mut message = good.clone();
         change(&mut message);
-        answer(5, &bytes(&message))
+        parse_response(5, &bytes(&message))
     };
     assert_eq!(
         with(&|m| m.metadata.truncation = true),
-        Err(Fault::Truncated)
+        Err(ResponseError::Truncated)
     );
     assert_eq!(
         with(&|m| m.metadata.response_code = ResponseCode::ServFail),
-        Err(Fault::Failed(2))
+        Err(ResponseError::Failed(2))
     );
     assert_eq!(
         with(&|m| m.metadata.message_type = MessageType::Query),
-        Err(Fault::NoAnswer)
+        Err(ResponseError::NoAnswer)
+    );
+    assert_eq!(
+        with(&|m| m.authorities.clear()),
+        Err(ResponseError::NoSerial)
     );
-    assert_eq!(with(&|m| m.authorities.clear()), Err(Fault::NoSerial));
     let without =
         |kind| with(&move |m: &mut Message| m.additionals.retain(|r| r.record_type() != kind));
     assert_eq!(
         without(RecordType::A),
-        Err(Fault::Server("s-00c41f7a".into()))
+        Err(ResponseError::Server("s-00c41f7a".into()))
     );
     assert_eq!(
         without(RecordType::TXT),
-        Err(Fault::Server("s-00c41f7a".into()))
+        Err(ResponseError::Server("s-00c41f7a".into()))
     );
 }
 
@@ -127,7 +133,7 @@
 fn an_answer_cut_anywhere_is_an_error_or_has_no_less_than_it_says() {
     let whole = bytes(&listed(5, 41, &TWO));
     for end in 0..whole.len() {
-        assert!(answer(5, &whole[..end]).is_err(), "cut at {end}");
+        assert!(parse_response(5, &whole[..end]).is_err(), "cut at {end}");
     }
 }
 
@@ -137,17 +143,20 @@
     bytes.truncate(12); // The header alone, then one answer whose name points at itself.
     bytes[6..12].copy_from_slice(&[0, 1, 0, 0, 0, 0]);
     bytes.extend_from_slice(&[0xc0, 12, 0, 33, 0, 1, 0, 0, 0, 0, 0, 0]);
-    assert!(matches!(answer(5, &bytes), Err(Fault::Malformed(_))));
+    assert!(matches!(
+        parse_response(5, &bytes),
+        Err(ResponseError::Malformed(_))
+    ));
 }
 
 proptest! {
     #[test]
     fn noise_never_panics(noise in prop::collection::vec(any::<u8>(), 0..400), at in 0usize..400, byte in any::<u8>()) {
-        let _ = answer(0, &noise);
+        let _ = parse_response(0, &noise);
         let mut bytes = bytes(&listed(5, 41, &TWO));
         let at = at % bytes.len();
         bytes[at] = byte;
-        if let Ok(list) = answer(5, &bytes) {
+        if let Ok(list) = parse_response(5, &bytes) {
             prop_assert!(list.entries.len() <= 2);
         }
     }
--- a/crates/node-protocol/tests/wire_text.rs
+++ b/crates/node-protocol/tests/wire_text.rs
@@ -59,8 +59,8 @@
         }), "SETUP rtsp://media/7f3a9c21e0b4d655 RTSP/1.0\r\nCSeq: 1\r\nSession: 00000000000000aB\r\nSubject: paid\r\nX-Patience: 0\r\nRate-Step: 0\r\nContent-Length: 0\r\n\r\n"),
         ("give-up", rtsp::cancel(tag()), "TEARDOWN rtsp://media/00000000000000aB RTSP/1.0\r\nCSeq: 2\r\nSession: 00000000000000aB\r\nContent-Length: 0\r\n\r\n"),
         ("release", rtsp::release(tag(), 16), "TEARDOWN rtsp://media/00000000000000aB RTSP/1.0\r\nCSeq: 2\r\nSession: 00000000000000aB\r\nReason: cause=16\r\nContent-Length: 0\r\n\r\n"),
-        ("rate", rtsp::rate(tag(), 2), "SET_PARAMETER rtsp://media/00000000000000aB RTSP/1.0\r\nCSeq: 4\r\nSession: 00000000000000aB\r\nRate-Step: 2\r\nContent-Length: 0\r\n\r\n"),
-        ("probe", rtsp::probe(tag()), "OPTIONS rtsp://media/load RTSP/1.0\r\nCSeq: 3\r\nSession: 00000000000000aB\r\nContent-Length: 0\r\n\r\n"),
+        ("rate", rtsp::set_rung(tag(), 2), "SET_PARAMETER rtsp://media/00000000000000aB RTSP/1.0\r\nCSeq: 4\r\nSession: 00000000000000aB\r\nRate-Step: 2\r\nContent-Length: 0\r\n\r\n"),
+        ("probe", rtsp::health_check(tag()), "OPTIONS rtsp://media/load RTSP/1.0\r\nCSeq: 3\r\nSession: 00000000000000aB\r\nContent-Length: 0\r\n\r\n"),
         ("heard", rtsp::acknowledge(9, Some(tag())), "RTSP/1.0 200 OK\r\nCSeq: 9\r\nSession: 00000000000000aB\r\nContent-Length: 0\r\n\r\n"),
         ("heard without session", rtsp::acknowledge(9, None), "RTSP/1.0 200 OK\r\nCSeq: 9\r\nContent-Length: 0\r\n\r\n"),
     ];
@@ -76,7 +76,7 @@
         query,
         b"\x12\x34\x00\x00\x00\x01\x00\x00\x00\x00\x00\x00\x05_work\x04_tcp\x05fleet\x05local\x00\x00\x21\x00\x01"
     );
-    assert_eq!(directory::id_of(&query), Some(0x1234));
+    assert_eq!(directory::message_id(&query), Some(0x1234));
 }
 
 /// The one message that a viewer's line holds.
@@ -134,19 +134,22 @@
     assert_eq!(start.opts["left"], "1500");
     let ask = start.set_up_params().expect("in range");
     assert_eq!(
-        (ask.class.as_str(), ask.tenant.as_deref(), ask.left),
+        (ask.class.as_str(), ask.tenant.as_deref(), ask.max_wait_ms),
         ("paid", Some("t1"), 1500)
     );
-    assert_eq!((ask.again, ask.moved, ask.hint), (true, true, Some(2500.0)));
     assert_eq!(
-        (ask.key.as_str(), ask.title),
+        (ask.is_retry, ask.is_migration, ask.duration_hint_ms),
+        (true, true, Some(2500.0))
+    );
+    assert_eq!(
+        (ask.title_text.as_str(), ask.title),
         ("7f3a9c21e0b4d655", 0x7f3a_9c21_e0b4_d655)
     );
     assert_eq!(
-        (ask.home, ask.copies, ask.top, ask.viewer),
+        (ask.first_cell, ask.cell_count, ask.max_rung, ask.viewer),
         (4, 3, 2, 0xb4d6_5521)
     );
-    assert_eq!(ask.at.as_deref(), Some("s-00c41f7a"));
+    assert_eq!(ask.current_server.as_deref(), Some("s-00c41f7a"));
 }
 
 /// The one message that a server's bytes hold.
--- a/crates/node/examples/platform.rs
+++ b/crates/node/examples/platform.rs
@@ -3,14 +3,16 @@
 #[path = "../tests/support/mod.rs"]
 mod support;
 use std::io::Write;
-use support::{configuration, lines, session_of, stands, Directory, Server, Told};
+use support::{
+    accepted, configuration, listed_servers, session_of, Directory, DirectoryState, Server,
+};
 
 fn main() -> std::io::Result<()> {
     let servers = [Server::start(1)];
-    let directory = Directory::start(Told {
+    let directory = Directory::start(DirectoryState {
         serial: 1,
-        lines: lines(&servers),
-        spoilt: None,
+        servers: listed_servers(&servers),
+        fault: None,
     });
     let mut config = configuration(&servers, &directory);
     config["listen"] = "127.0.0.1:3868".into();
@@ -19,7 +21,7 @@
     writeln!(out, "{config}")?;
     out.flush()?;
     loop {
-        let Some((conn, asked)) = server.look_for("SETUP") else {
+        let Some((conn, asked)) = server.try_take_request("SETUP") else {
             std::thread::sleep(std::time::Duration::from_millis(5));
             continue;
         };
@@ -28,6 +30,6 @@
             format!("made for {}", asked.text().unwrap_or_default()),
         );
         eprintln!("set up {tag}");
-        server.send(conn, &stands(tag, &made));
+        server.send(conn, &accepted(tag, &made));
     }
 }
--- a/crates/node/src/directory_poller.rs
+++ b/crates/node/src/directory_poller.rs
@@ -1,6 +1,8 @@
-//! The directory: asked again and again on a thread of its own, which only waits.
-use crate::shared::{Msg, Shared};
-use crankpaddle_node_protocol::directory::{answer, id_of, query, List, MOST_ANSWER};
+//! The directory: polled again and again on a thread of its own, which only waits.
+use crate::shared::{Message, Shared};
+use crankpaddle_node_protocol::directory::{
+    message_id, parse_response, query, List, MAX_RESPONSE_BYTES,
+};
 use std::collections::VecDeque;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
@@ -8,173 +10,199 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Time between an answer and the next question. What happened counts as told after 1.5 s at the latest.
-const EVERY: Duration = Duration::from_millis(250);
-/// Without an answer it is asked again after this time.
-const WITHIN: Duration = Duration::from_millis(200);
-/// An answer that takes longer is none: what it tells may be long past.
-const LATEST: Duration = Duration::from_secs(4);
-/// Answers with a lower serial in a row that are worth a word.
-const LOWER: u32 = 20;
-/// The thread's stack.
-const STACK: usize = 128 * 1024;
+/// Time between a response and the next query. A change has to be known after 1.5 s at the latest.
+const POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// Without a response the next query is sent after this time.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(200);
+/// A response that takes longer is dropped: its list may be long out of date.
+const MAX_RESPONSE_AGE: Duration = Duration::from_secs(4);
+/// Responses with a lower serial in a row after which an error is logged.
+const STALE_RESPONSES_LOGGED: u32 = 20;
+/// The thread's stack, bytes.
+const STACK_SIZE: usize = 128 * 1024;
 
-/// Follows the directory until told to stop.
+/// Polls the directory until `stopped` is set.
 ///
 /// # Errors
 /// No socket can be had, or the thread can't be started.
-pub(crate) fn follow(shared: Arc<Shared>, until: Arc<AtomicBool>) -> io::Result<()> {
-    // Danger: a socket that is opened when the directory moves wants a descriptor at a time when crowds may hold them all. This one
-    // is bound at the start, from the node's own address, and turned to whoever is asked; only he comes through.
+pub(crate) fn start(shared: Arc<Shared>, stopped: Arc<AtomicBool>) -> io::Result<()> {
+    // Why: a socket that is opened when the directory moves needs a descriptor at a time when silent clients may hold them all. This
+    // one is bound at the start, from the node's own address, and connected to whichever directory is polled; only that one's
+    // datagrams come through.
     let socket = UdpSocket::bind(SocketAddr::new(shared.config.listen.ip(), 0))?;
     let thread = std::thread::Builder::new()
         .name("directory".into())
-        .stack_size(STACK);
-    thread.spawn(move || {
-        let mut line = Line {
-            socket,
-            to: None,
-            asked: VecDeque::new(),
-        };
-        let mut held = Held {
-            list: shared.config.known.clone(),
-            lower: 0,
+        .stack_size(STACK_SIZE);
+    thread.spawn(move || poll_until_stopped(socket, &shared, &stopped))?;
+    Ok(())
+}
+
+fn poll_until_stopped(socket: UdpSocket, shared: &Shared, stopped: &AtomicBool) {
+    let mut queries = QuerySocket {
+        socket,
+        directory: None,
+        outstanding: VecDeque::new(),
+    };
+    let mut current = CurrentList {
+        list: shared.config.known.clone(),
+        stale_responses: 0,
+    };
+    while !stopped.load(Ordering::Acquire) {
+        queries.connect(shared.nameserver());
+        queries.send_query();
+        let Some(list) = queries.receive_list() else {
+            continue;
         };
-        while !until.load(Ordering::Acquire) {
-            line.turn_to(shared.nameserver());
-            line.ask();
-            if let Some(list) = line.answer() {
-                held.take(list)
-                    .into_iter()
-                    .for_each(|news| shared.tell(Msg::List(news)));
-                std::thread::sleep(EVERY);
-            }
+        if let Some(changed) = current.update(list) {
+            shared.send(Message::EndpointList(changed));
         }
-    })?;
-    Ok(())
+        std::thread::sleep(POLL_INTERVAL);
+    }
 }
 
 /// The list in force.
-struct Held {
+struct CurrentList {
     list: List,
-    lower: u32, // Answers in a row that told a lower serial.
+    /// Responses in a row that had a lower serial.
+    stale_responses: u32,
 }
 
-impl Held {
-    /// A list that was told, if it says anything new.
+impl CurrentList {
+    /// Takes a received list over; the list, if it differs from the one in force.
     ///
-    /// Danger: an old answer would bring back servers that are gone. Serials go on wherever the directory is asked, so a lower one
-    /// is never taken, from whom it may come. Harm: a directory that counts anew is not believed until a restart; that is said.
-    fn take(&mut self, told: List) -> Option<List> {
-        if told.is_older_than(&self.list) {
-            self.lower += 1;
-            if self.lower == LOWER {
-                let (told, held) = (told.serial, self.list.serial);
-                tracing::error!(
-                    told,
-                    held,
-                    "the directory counts lower than it did; its lists are not taken until a restart"
-                );
-            }
+    /// Why: an old response would bring back servers that are gone. Serials go on wherever the directory is polled, so a lower one
+    /// is never taken, whichever directory sends it. The price: a directory that starts counting anew is ignored until a
+    /// restart, which is logged.
+    fn update(&mut self, received: List) -> Option<List> {
+        if received.is_older_than(&self.list) {
+            self.note_stale_response(&received);
+            return None;
+        }
+        self.stale_responses = 0;
+        if received == self.list {
             return None;
         }
-        self.lower = 0;
-        (told != self.list).then(|| {
-            self.list = told.clone();
-            told
-        })
+        self.list = received.clone();
+        Some(received)
     }
+
+    fn note_stale_response(&mut self, received: &List) {
+        self.stale_responses += 1;
+        if self.stale_responses == STALE_RESPONSES_LOGGED {
+            tracing::error!(
+                received_serial = received.serial,
+                current_serial = self.list.serial,
+                "directory serial went backwards; its lists are ignored until a restart"
+            );
+        }
+    }
+}
+
+/// A query that may still get a response.
+struct OutstandingQuery {
+    id: u16,
+    sent_at: Instant,
 }
 
-/// Questions to one directory, of which any may still be answered.
-struct Line {
+/// Queries to one directory, any of which may still get its response.
+struct QuerySocket {
     socket: UdpSocket,
-    to: Option<SocketAddr>,
-    asked: VecDeque<(u16, Instant)>,
+    directory: Option<SocketAddr>,
+    outstanding: VecDeque<OutstandingQuery>,
 }
 
-impl Line {
-    /// From now on another directory is asked; what was asked of the former may not answer any more.
-    fn turn_to(&mut self, to: SocketAddr) {
-        if self.to != Some(to) {
-            self.asked.clear();
-            let connected = self.socket.connect(to);
-            let said = connected
-                .inspect_err(|fault| tracing::error!(%fault, %to, "the directory can't be asked"));
-            self.to = said.ok().map(|()| to);
+impl QuerySocket {
+    /// Polls this directory from now on; queries to the previous one may not be answered any more.
+    fn connect(&mut self, directory: SocketAddr) {
+        if self.directory == Some(directory) {
+            return;
         }
+        self.outstanding.clear();
+        self.directory = match self.socket.connect(directory) {
+            Ok(()) => Some(directory),
+            Err(error) => {
+                tracing::error!(reason = %error, address = %directory, "directory unreachable");
+                None
+            }
+        };
     }
 
-    fn ask(&mut self) {
+    fn send_query(&mut self) {
         let now = Instant::now();
-        while self
-            .asked
-            .front()
-            .is_some_and(|(_, at)| now.duration_since(*at) > LATEST)
-        {
-            self.asked.pop_front();
-        }
+        self.remove_expired(now);
         let id: u16 = rand::random();
-        match query(id)
+        let sent = query(id)
             .map_err(io::Error::other)
-            .and_then(|bytes| self.socket.send(&bytes))
-        {
-            Ok(_) => self.asked.push_back((id, now)),
-            Err(fault) => tracing::debug!(%fault, "the directory can't be asked"),
+            .and_then(|bytes| self.socket.send(&bytes));
+        match sent {
+            Ok(_) => self
+                .outstanding
+                .push_back(OutstandingQuery { id, sent_at: now }),
+            Err(error) => tracing::debug!(reason = %error, "directory query not sent"),
+        }
+    }
+
+    fn remove_expired(&mut self, now: Instant) {
+        while let Some(oldest) = self.outstanding.front() {
+            if now.duration_since(oldest.sent_at) <= MAX_RESPONSE_AGE {
+                return;
+            }
+            self.outstanding.pop_front();
         }
     }
 
-    /// The answer to any of the questions, within the time to the next.
+    /// The response to any of the queries, within the time to the next.
     ///
-    /// Danger: a directory that takes longer than that would never be heard if only the last question counted. Harm: an answer may
-    /// be as old as [`LATEST`]; what was told since has a higher serial, and goes before it.
-    fn answer(&mut self) -> Option<List> {
-        let until = Instant::now() + WITHIN;
-        let mut bytes = [0u8; MOST_ANSWER];
+    /// Why: a directory that takes longer than that would never be heard if only the last query counted. A response may be as
+    /// old as [`MAX_RESPONSE_AGE`]; a later change has a higher serial, which goes before it.
+    fn receive_list(&mut self) -> Option<List> {
+        let deadline = Instant::now() + RESPONSE_TIMEOUT;
+        let mut bytes = [0u8; MAX_RESPONSE_BYTES];
         loop {
-            let left = until
+            let left = deadline
                 .checked_duration_since(Instant::now())
                 .filter(|left| !left.is_zero())?;
-            match self
-                .socket
-                .set_read_timeout(Some(left))
-                .and_then(|()| self.socket.recv(&mut bytes))
-            {
-                Ok(got) => {
-                    if let Some(list) = self.read(&bytes[..got]) {
+            match self.receive(&mut bytes, left) {
+                Ok(length) => {
+                    if let Some(list) = self.read_response(&bytes[..length]) {
                         return Some(list);
                     }
                 }
-                Err(e)
-                    if matches!(
-                        e.kind(),
-                        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
-                    ) =>
-                {
-                    return None
-                }
-                Err(_) => std::thread::sleep(left), // Nobody listens there, or the machine can't ask.
+                Err(error) if is_timeout(&error) => return None,
+                Err(_) => std::thread::sleep(left), // Nobody listens there, or the machine can't send.
             }
         }
     }
 
-    fn read(&mut self, bytes: &[u8]) -> Option<List> {
-        let asked =
-            id_of(bytes).and_then(|id| self.asked.iter().position(|(asked, _)| *asked == id));
-        let Some(at) = asked else {
-            tracing::debug!("an answer that was not asked for");
+    fn receive(&self, bytes: &mut [u8], timeout: Duration) -> io::Result<usize> {
+        self.socket.set_read_timeout(Some(timeout))?;
+        self.socket.recv(bytes)
+    }
+
+    fn read_response(&mut self, bytes: &[u8]) -> Option<List> {
+        let position = message_id(bytes)
+            .and_then(|id| self.outstanding.iter().position(|query| query.id == id));
+        let Some(position) = position else {
+            tracing::debug!("unsolicited directory response");
             return None;
         };
-        match answer(self.asked[at].0, bytes) {
+        match parse_response(self.outstanding[position].id, bytes) {
             Ok(list) => {
-                self.asked.remove(at);
+                self.outstanding.remove(position);
                 Some(list)
             }
-            // Others may be answers to earlier questions, or another copy of this one: the right one may still come.
-            Err(fault) => {
-                tracing::debug!(%fault, "the directory's answer is of no use");
+            // Others may be responses to earlier queries, or another copy of this one: the right one may still come.
+            Err(error) => {
+                tracing::debug!(reason = %error, "unusable directory response");
                 None
             }
         }
     }
 }
+
+fn is_timeout(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+    )
+}
--- a/crates/node/src/event_loop/attempt_dispatch.rs
+++ b/crates/node/src/event_loop/attempt_dispatch.rs
@@ -1,229 +1,289 @@
-//! How a set-up leaves: looked at once more, given a connection, written.
+//! How a set-up leaves the node: checked once more, given a link, written.
 //!
-//! An attempt that the module decides on joins those that are to leave; so does one whose connection came about. They leave after
-//! all that was heard has been decided on, each looked at right before: whether its viewer still waits, as far as the kernel
-//! knows, and whether the module still lets it go.
-use super::{
-    clock, rtsp, AttemptId, AttemptOutcome, EventLoop, Input, LinkId, Live, LoadReport, Ordering,
-    Peer, ServerId, SetUpOrder, SetUpResult, Tag, Time, MILLISECOND, MOST_LINKS, MOST_TRIES,
+//! An attempt that the core decides on joins the dispatch queue; so does one whose link came up. Attempts are dispatched after
+//! all that was received has been decided on, each checked right before: whether its viewer still waits, as far as the kernel
+//! knows, and whether the core still lets it go.
+use super::attempt::{Attempt, AttemptState};
+use super::{EventLoop, MILLISECOND};
+use crate::shared::LinkId;
+use crankpaddle_front::{
+    AttemptId, AttemptOutcome, Input, LoadReport, ServerId, SetUpOrder, SetUpResult, Time,
 };
+use crankpaddle_net::{clock, Peer};
+use crankpaddle_node_protocol::{rtsp, Tag};
+use std::sync::atomic::Ordering;
 
-/// An attempt that is to leave.
-pub(super) struct Leaving {
+/// An attempt in the dispatch queue.
+pub(super) struct QueuedAttempt {
     attempt: AttemptId,
-    link: Option<LinkId>, // That came about for it.
-    since: u64,           // It was ready to leave.
+    /// The link that came up for it.
+    link: Option<LinkId>,
+    /// Since when it could be dispatched.
+    ready_since: u64,
 }
 
-/// While more of its viewer's connection is to be read, a set-up is held back for so long: a tenth of a second after a viewer
-/// has gone none may begin, and what he says last may lie behind much else.
-const HOLD: u64 = 50 * MILLISECOND;
-/// Held back set-ups are looked at again after this time, in which all sockets get a turn.
-pub(super) const LOOK_AGAIN: u64 = MILLISECOND;
-/// Descriptors of links that are being closed, beyond those that may be held.
-const CLOSING: usize = 8;
-
-/// What becomes of a set-up that is ready to leave.
-enum Next {
-    Leaves,
-    IsHeld,
-    IsTakenBack,
+/// While more of its viewer's connection is to be read, a set-up is deferred for so long at most: a tenth of a second after a
+/// viewer has gone none may begin, and the viewer's last message may lie behind much else.
+const MAX_DEFERRAL: u64 = 50 * MILLISECOND;
+/// Deferred set-ups are checked again after this time, in which all sockets are read.
+pub(super) const RECHECK_INTERVAL: u64 = MILLISECOND;
+/// How often a link is looked for, for one set-up of which nothing was written.
+const MAX_CONNECT_ATTEMPTS: u32 = 2;
+/// Links to one server at most, each with one set-up in progress; beyond, set-ups share links.
+const MAX_LINKS_PER_SERVER: usize = 8;
+/// Descriptors of links that are being closed, beyond those of the budget.
+const MAX_CLOSING_LINKS: usize = 8;
+
+/// What becomes of an attempt in the dispatch queue.
+enum DispatchDecision {
+    Dispatch,
+    Defer,
+    Withdraw,
 }
 
 impl EventLoop {
-    pub(super) fn set_up(
+    pub(super) fn start_attempt(
         &mut self,
         attempt: AttemptId,
         server: ServerId,
         order: &SetUpOrder,
-        until: Time,
+        deadline: Time,
     ) {
-        let player = Tag::parse(&order.key).and_then(|tag| self.tags.get(&tag).copied());
-        let Some((player, session)) = player.and_then(|p| Some((p, self.sessions.get_mut(&p)?)))
-        else {
+        let Some(session_id) = Tag::parse(&order.key) else {
             return;
         };
+        let Some(player) = self.players.get(&session_id).copied() else {
+            return;
+        };
+        if !self.sessions.contains_key(&player) {
+            return;
+        }
         let Some(at) = self.servers.get_mut(&server) else {
-            return self.tell_core(Input::SetUpCompleted(
+            return self.notify_core(Input::SetUpCompleted(
                 attempt,
                 SetUpResult::Ended(AttemptOutcome::NotSent, LoadReport::new()),
             ));
         };
-        let tag = session.tag;
-        at.held.insert(tag, attempt);
-        at.abandoned.remove(&tag);
-        let rung = order.rung;
-        let live = Live {
+        at.attempts.insert(session_id, attempt);
+        at.abandoned.remove(&session_id);
+        let record = Attempt {
             player,
-            tag,
+            session_id,
             server,
-            link: None,
-            rung,
-            until,
-            sent: None,
-            answered: false,
-            tries: 0,
+            rung: order.rung,
+            deadline,
+            connect_attempts: 0,
+            state: AttemptState::Queued,
         };
-        self.live.insert(attempt, live);
-        self.is_to_leave(attempt, None);
+        self.attempts.insert(attempt, record);
+        self.queue_for_dispatch(attempt, None);
     }
 
-    /// It leaves once all that was heard was decided on, on this link if it is good.
-    pub(super) fn is_to_leave(&mut self, attempt: AttemptId, link: Option<LinkId>) {
-        self.live.entry(attempt).and_modify(|l| l.link = None);
-        self.leaving.push_back(Leaving {
-            attempt,
+    /// Queues an attempt; it is dispatched on `link` if that is good.
+    pub(super) fn queue_for_dispatch(&mut self, id: AttemptId, link: Option<LinkId>) {
+        if let Some(attempt) = self.attempts.get_mut(&id) {
+            attempt.state = AttemptState::Queued;
+        }
+        self.dispatch_queue.push_back(QueuedAttempt {
+            attempt: id,
             link,
-            since: clock::now(),
+            ready_since: clock::now(),
         });
     }
 
-    /// Lets leave what is ready to.
+    /// Dispatches what is ready, once through the queue.
     ///
-    /// Danger: between the decision and the first byte a viewer may close or cancel, a server drain or restart, a turn at a cold
-    /// one pass: connections take up to a second to come about, and decisions on a flood of requests a good part of one on a small
-    /// share of a core. What has not left has not run, so it is taken back for nothing. Harm: what crosses a viewer's last word on
-    /// the network leaves all the same.
-    pub(super) fn leave(&mut self) {
-        for _ in 0..self.leaving.len() {
-            let Some(ready) = self.leaving.pop_front() else {
+    /// Why: between the decision and the first byte a viewer may close or cancel, a server drain or restart, or an admission slot
+    /// at a server that warms up pass: connects take up to a second, and decisions on a flood of requests a good part of one on a
+    /// small share of a core. What was not written has not run, so it can be withdrawn without effect. What crosses a viewer's
+    /// last message on the network is dispatched all the same.
+    pub(super) fn dispatch_queued(&mut self) {
+        for _ in 0..self.dispatch_queue.len() {
+            let Some(queued) = self.dispatch_queue.pop_front() else {
                 return;
             };
-            match self.next(&ready) {
-                None => {} // It was given up.
-                Some(Next::Leaves) => self.dispatch(ready.attempt, ready.link),
-                Some(Next::IsHeld) => self.leaving.push_back(ready),
-                Some(Next::IsTakenBack) => {
-                    tracing::debug!(attempt = ready.attempt.0, "taken back before it left");
-                    self.set_up_ended(ready.attempt, AttemptOutcome::NotSent, LoadReport::new());
-                }
+            match self.dispatch_decision(&queued) {
+                None => {} // It was abandoned.
+                Some(DispatchDecision::Dispatch) => self.dispatch(queued.attempt, queued.link),
+                Some(DispatchDecision::Defer) => self.dispatch_queue.push_back(queued),
+                Some(DispatchDecision::Withdraw) => self.withdraw(queued.attempt),
             }
         }
     }
 
-    fn next(&self, ready: &Leaving) -> Option<Next> {
-        let live = self.live.get(&ready.attempt).filter(|l| l.sent.is_none())?;
+    fn withdraw(&mut self, attempt: AttemptId) {
+        tracing::debug!(
+            attempt_id = attempt.0,
+            "set-up withdrawn before it was sent"
+        );
+        self.complete_set_up(attempt, AttemptOutcome::NotSent, LoadReport::new());
+    }
+
+    fn dispatch_decision(&self, queued: &QueuedAttempt) -> Option<DispatchDecision> {
+        let attempt = self.attempts.get(&queued.attempt)?;
+        if attempt.state.is_sent() {
+            return None;
+        }
         let now = clock::now();
-        if !self.core.may_send(Time(now), ready.attempt) {
-            return Some(Next::IsTakenBack);
-        }
-        let conn = self.conns.get(&self.sessions.get(&live.player)?.conn)?;
-        let more = conn.unheard.load(Ordering::Acquire) > 0;
-        Some(match conn.outbox.socket().peer_state() {
-            Peer::Ended => Next::IsHeld, // Its reader is about to find that it ended.
-            Peer::Quiet if !more => Next::Leaves,
-            _ if now >= ready.since.saturating_add(HOLD) => Next::Leaves,
-            _ => Next::IsHeld,
+        if !self.core.may_send(Time(now), queued.attempt) {
+            return Some(DispatchDecision::Withdraw);
+        }
+        let session = self.sessions.get(&attempt.player)?;
+        let connection = self.connections.get(&session.connection)?;
+        let has_queued_messages = connection.queued_messages.load(Ordering::Acquire) > 0;
+        Some(match connection.outbox.socket().peer_state() {
+            Peer::Ended => DispatchDecision::Defer, // Its reader is about to find that it ended.
+            Peer::Quiet if !has_queued_messages => DispatchDecision::Dispatch,
+            _ if now >= queued.ready_since.saturating_add(MAX_DEFERRAL) => {
+                DispatchDecision::Dispatch
+            }
+            _ => DispatchDecision::Defer,
         })
     }
 
-    /// Finds a link for a set-up that was not written yet. Danger: a connection may be reset right when it is new, and the
-    /// server be taken for one that can't be connected to; so that is tried once more.
-    fn dispatch(&mut self, attempt: AttemptId, link: Option<LinkId>) {
-        if link.is_some_and(|link| self.write_set_up(attempt, link)) {
+    /// Finds a link for a set-up of which nothing was written yet.
+    ///
+    /// Why: a connection may be reset right when it is new, and the server be taken for one that can't be connected to; so
+    /// the search is retried once.
+    fn dispatch(&mut self, id: AttemptId, preferred: Option<LinkId>) {
+        if preferred.is_some_and(|link| self.write_set_up(id, link)) {
             return;
         }
-        let Some(live) = self.live.get_mut(&attempt) else {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
             return;
         };
-        let server = live.server;
-        live.tries += 1;
-        if live.tries > MOST_TRIES {
-            return self.set_up_ended(attempt, AttemptOutcome::ConnectFailed, LoadReport::new());
-        }
-        // Each set-up has a connection of its own while there are enough: a spoilt answer then spoils no other. The one
-        // used last and free; else a new one; else one that is shared.
-        while let Some(link) = self.link_of(server, |l| l.is_usable() && l.open.is_empty()) {
-            if self.write_set_up(attempt, link) {
-                return;
-            }
-            self.link_down(link);
+        let server = attempt.server;
+        attempt.connect_attempts += 1;
+        if attempt.connect_attempts > MAX_CONNECT_ATTEMPTS {
+            return self.connect_failed(id);
         }
-        let of_server = self.servers.get(&server).map_or(0, |s| s.links.len());
-        let room = self.has_room_for_link() && of_server < MOST_LINKS;
-        if room || of_server == 0 && self.drop_idle_link() {
-            if let Some(link) = self.dial(server) {
-                return self.wait_for(attempt, link);
+        if self.dispatch_on_free_link(id, server) {
+            return;
+        }
+        if let Some(link) = self.open_link_for_set_up(server) {
+            return self.await_link(id, link);
+        }
+        self.dispatch_on_shared_link(id, server);
+    }
+
+    fn connect_failed(&mut self, attempt: AttemptId) {
+        self.complete_set_up(attempt, AttemptOutcome::ConnectFailed, LoadReport::new());
+    }
+
+    /// Writes a set-up on the server's most recently used free link, if it has one. Each set-up has a link of its own while there
+    /// are enough: a malformed answer then spoils no other.
+    fn dispatch_on_free_link(&mut self, id: AttemptId, server: ServerId) -> bool {
+        while let Some(link) =
+            self.find_link(server, |link| link.is_usable() && link.pending.is_empty())
+        {
+            if self.write_set_up(id, link) {
+                return true;
             }
+            self.close_link(link);
         }
-        // Danger: while all its links are still connecting none is up; a server that is only busy being connected to would
-        // be taken for one that can't be. One that does not read what was written before takes nothing more: it would leave when
-        // the server reads again, whatever has become of its viewer.
+        false
+    }
+
+    /// Opens another link to a server, if there is capacity. A server without any may take the descriptor of an idle link.
+    fn open_link_for_set_up(&mut self, server: ServerId) -> Option<LinkId> {
         let links = self
             .servers
             .get(&server)
-            .map(|s| s.links.clone())
-            .unwrap_or_default();
-        let takes = |id: &LinkId| {
-            self.links
-                .get(id)
-                .is_some_and(|l| l.is_connecting() || l.is_usable())
-        };
-        let load = |id: &LinkId| {
-            self.links
-                .get(id)
-                .map_or((false, usize::MAX), |l| (l.is_connecting(), l.open.len()))
-        };
-        let Some(least) = links.into_iter().filter(takes).min_by_key(load) else {
-            return self.set_up_ended(attempt, AttemptOutcome::ConnectFailed, LoadReport::new());
+            .map_or(0, |server| server.links.len());
+        let has_capacity = self.has_link_capacity() && links < MAX_LINKS_PER_SERVER;
+        if has_capacity || links == 0 && self.close_idle_link() {
+            return self.connect(server);
+        }
+        None
+    }
+
+    /// Puts a set-up on the link with the fewest others, one that is up before one that is connecting.
+    ///
+    /// Why: while all its links are still connecting none is up; a server that is only busy accepting would be taken for one that
+    /// can't be connected to. One that does not read what was written before takes nothing more: the set-up would begin when the
+    /// server reads again, whatever has become of its viewer.
+    fn dispatch_on_shared_link(&mut self, id: AttemptId, server: ServerId) {
+        let Some(link) = self.least_loaded_link(server) else {
+            return self.connect_failed(id);
         };
-        if load(&least).0 {
-            self.wait_for(attempt, least);
-        } else if !self.write_set_up(attempt, least) {
-            self.set_up_ended(attempt, AttemptOutcome::ConnectFailed, LoadReport::new());
-            self.link_down(least);
+        if self
+            .links
+            .get(&link)
+            .is_some_and(super::Link::is_connecting)
+        {
+            self.await_link(id, link);
+        } else if !self.write_set_up(id, link) {
+            self.connect_failed(id);
+            self.close_link(link);
         }
     }
 
-    /// Whether another connection to a server may be opened; those that are being closed hold their descriptors still.
+    fn least_loaded_link(&self, server: ServerId) -> Option<LinkId> {
+        let candidates = self.servers.get(&server)?.links.iter().filter_map(|id| {
+            let link = self.links.get(id)?;
+            (link.is_connecting() || link.is_usable()).then_some((*id, link))
+        });
+        candidates
+            .min_by_key(|(_, link)| (link.is_connecting(), link.pending.len()))
+            .map(|(id, _)| id)
+    }
+
+    /// Whether another link may be opened; those that are being closed hold their descriptors still.
     ///
-    /// Danger: connects that were given up hold theirs until their time is over; forgotten, as where a list replaces many servers
-    /// at once, they would take those of viewers.
-    pub(super) fn has_room_for_link(&self) -> bool {
-        let held = self.shared.links.load(Ordering::Relaxed);
-        self.links.len() < self.shared.budget.links && held < self.shared.budget.links + CLOSING
+    /// Why: connects that were given up hold their descriptors until they time out; not counted, as where a list replaces many
+    /// servers at once, they would take those of viewers.
+    pub(super) fn has_link_capacity(&self) -> bool {
+        let descriptors = self.shared.links.load(Ordering::Relaxed);
+        let budget = self.shared.budget.links;
+        self.links.len() < budget && descriptors < budget + MAX_CLOSING_LINKS
     }
 
-    /// A set-up is written when this link comes up.
-    fn wait_for(&mut self, attempt: AttemptId, link: LinkId) {
-        self.links.entry(link).and_modify(|l| l.open.push(attempt));
-        self.live.entry(attempt).and_modify(|l| l.link = Some(link));
+    /// The set-up is written when this link comes up.
+    fn await_link(&mut self, id: AttemptId, link_id: LinkId) {
+        if let Some(link) = self.links.get_mut(&link_id) {
+            link.pending.push(id);
+        }
+        if let Some(attempt) = self.attempts.get_mut(&id) {
+            attempt.state = AttemptState::AwaitingLink(link_id);
+        }
     }
 
-    /// Writes an attempt's set-up; false if not a byte of it went out.
-    fn write_set_up(&mut self, attempt: AttemptId, id: LinkId) -> bool {
-        let (Some(live), Some(link)) = (self.live.get_mut(&attempt), self.links.get_mut(&id))
-        else {
+    /// Writes an attempt's set-up; false if not a byte of it was sent.
+    fn write_set_up(&mut self, id: AttemptId, link_id: LinkId) -> bool {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
             return false;
         };
-        let (Some(outbox), Some(session)) = (&link.outbox, self.sessions.get(&live.player)) else {
+        let Some(link) = self.links.get_mut(&link_id) else {
+            return false;
+        };
+        let (Some(outbox), Some(session)) = (link.outbox(), self.sessions.get(&attempt.player))
+        else {
             return false;
         };
         let now = clock::now();
-        let class = self
-            .shared
-            .config
-            .fleet
-            .classes
-            .get(usize::from(session.class));
-        let bytes = rtsp::set_up(&rtsp::SetUp {
-            tag: live.tag,
+        let classes = &self.shared.config.fleet.classes;
+        let class = classes.get(usize::from(session.class));
+        let message = rtsp::set_up(&rtsp::SetUp {
+            tag: attempt.session_id,
             title: &session.title,
             class: class.map_or("", String::as_str),
-            patience: (live.until.0.saturating_sub(now) / MILLISECOND).max(1),
-            rung: live.rung,
-            blob: &session.blob,
+            patience: (attempt.deadline.0.saturating_sub(now) / MILLISECOND).max(1),
+            rung: attempt.rung,
+            blob: session.description(),
         });
-        // Danger: what is written into a connection that was just closed may have run for all one knows.
-        if !link.is_usable() || !outbox.socket().is_open() || !outbox.push(&bytes) {
+        // Why: what is written into a connection that was just closed may have run for all that is known.
+        if !link.is_usable() || !outbox.socket().is_open() || !outbox.push(&message) {
             return false;
         }
-        tracing::trace!(tag = %live.tag, server = live.server.0, link = id.0, rung = live.rung, "set-up sent");
-        (live.link, live.sent) = (Some(id), Some(now));
-        link.open.push(attempt);
+        tracing::trace!(session_id = %attempt.session_id, server_id = attempt.server.0, link_id = link_id.0, rung = attempt.rung, "set-up sent");
+        attempt.state = AttemptState::Sent {
+            link: link_id,
+            sent_at: now,
+        };
+        link.pending.push(id);
         if let Some(server) = self.servers.get_mut(&link.server) {
-            server.links.retain(|l| *l != id);
-            server.links.push(id);
+            server.links.retain(|other| *other != link_id);
+            server.links.push(link_id);
         }
         true
     }
--- /dev/null
+++ b/crates/node/src/event_loop/attempt_lifecycle.rs
@@ -0,0 +1,131 @@
+//! The end of attempts, and sessions that are adopted.
+use super::attempt::{Attempt, AttemptState};
+use super::{EventLoop, SECOND};
+use crate::shared::LinkId;
+use crankpaddle_front::{
+    AttemptId, AttemptOutcome, Input, LoadReport, PlayerId, ServerId, SetUpResult, Time,
+};
+use crankpaddle_net::clock;
+use crankpaddle_node_protocol::rtsp;
+use crankpaddle_node_protocol::viewers::cause;
+
+/// A server that answers an abandoned set-up later than this is not waited for any more.
+const LATE_ANSWER_PERIOD: u64 = 10 * SECOND;
+
+impl EventLoop {
+    /// An attempt without an answer so far has ended without a session.
+    pub(super) fn complete_set_up(
+        &mut self,
+        attempt: AttemptId,
+        outcome: AttemptOutcome,
+        report: LoadReport,
+    ) {
+        if self.remove_attempt(attempt).is_some() {
+            self.notify_core(Input::SetUpCompleted(
+                attempt,
+                SetUpResult::Ended(outcome, report),
+            ));
+        }
+    }
+
+    /// Removes an attempt from all tables.
+    pub(super) fn remove_attempt(&mut self, id: AttemptId) -> Option<Attempt> {
+        let attempt = self.attempts.remove(&id)?;
+        let is_established = attempt.state.is_established();
+        tracing::trace!(session_id = %attempt.session_id, server_id = attempt.server.0, established = is_established, "attempt ended");
+        if let Some(server) = self.servers.get_mut(&attempt.server) {
+            if server.attempts.get(&attempt.session_id) == Some(&id) {
+                server.attempts.remove(&attempt.session_id);
+            }
+            server.established -= usize::from(is_established);
+        }
+        let link = attempt.state.link();
+        if let Some(link) = link.and_then(|link| self.links.get_mut(&link)) {
+            link.pending.retain(|pending| *pending != id);
+        }
+        Some(attempt)
+    }
+
+    /// Abandons an attempt. Its server may answer all the same.
+    pub(super) fn abandon_attempt(&mut self, id: AttemptId, server: ServerId) {
+        let Some(attempt) = self.remove_attempt(id) else {
+            return;
+        };
+        let session_id = attempt.session_id;
+        match attempt.state {
+            AttemptState::Queued | AttemptState::AwaitingLink(_) => {} // Nothing was written.
+            AttemptState::Established { link, .. } => {
+                self.send_to_server(server, link, rtsp::release(session_id, cause::CANCELLED));
+            }
+            AttemptState::Sent { link, .. } if self.holds_only_unsent(link) => {
+                self.reset_link(link);
+            }
+            AttemptState::Sent { link, sent_at } => {
+                let now = clock::now();
+                if let Some(at) = self.servers.get_mut(&server) {
+                    let expires_at = now.saturating_add(LATE_ANSWER_PERIOD);
+                    at.abandoned.insert(session_id, expires_at);
+                }
+                self.note_silence(link, sent_at, now);
+                self.send_to_server(server, Some(link), rtsp::cancel(session_id));
+            }
+        }
+    }
+
+    /// Whether nothing waits for an answer on a link and some of what was written to it has not been sent.
+    ///
+    /// Why: before a server that does not read, a set-up lies here or with the kernel and would begin when the server reads again,
+    /// long after its viewer has gone. Closing a connection cancels all that is in progress on it, so a close stands for the
+    /// cancel. Where others wait on the same link the set-up stays behind them.
+    fn holds_only_unsent(&self, link: LinkId) -> bool {
+        self.links
+            .get(&link)
+            .is_some_and(|link| link.pending.is_empty() && link.has_unsent())
+    }
+
+    /// Drops what a link has not sent, and closes it.
+    fn reset_link(&mut self, id: LinkId) {
+        if let Some(outbox) = self.links.get(&id).and_then(super::Link::outbox) {
+            outbox.socket().reset();
+        }
+        self.close_link(id);
+    }
+
+    /// Marks a link as unresponsive if nothing came on it since an attempt was sent, for longer than a connect may take.
+    fn note_silence(&mut self, id: LinkId, sent_at: u64, now: u64) {
+        let Some(link) = self.links.get_mut(&id) else {
+            return;
+        };
+        let connect_timeout = self.shared.config.fleet.connect_timeout;
+        if link.last_received <= sent_at && now.saturating_sub(sent_at) > connect_timeout {
+            link.mark_unresponsive(now);
+        }
+    }
+
+    /// A session that plays at a server already is known from now on.
+    pub(super) fn adopt(&mut self, player: PlayerId, attempt: AttemptId, server: ServerId) {
+        let now = clock::now();
+        let Some(session_id) = self.sessions.get(&player).map(|session| session.session_id) else {
+            return;
+        };
+        let Some(at) = self.servers.get_mut(&server) else {
+            return;
+        };
+        at.attempts.insert(session_id, attempt);
+        at.established += 1;
+        at.health.session_established(now);
+        let record = Attempt {
+            player,
+            session_id,
+            server,
+            rung: 0,
+            deadline: Time(now),
+            connect_attempts: 0,
+            state: AttemptState::Established {
+                link: None,
+                sent_at: now,
+            },
+        };
+        self.attempts.insert(attempt, record);
+    }
+}
--- /dev/null
+++ b/crates/node/src/event_loop/client_notifications.rs
@@ -0,0 +1,118 @@
+//! What viewers are sent: answers to their set-ups, and the end of their sessions.
+use super::client_requests::retry_after_ms;
+use super::{ConnectionId, EventLoop, UnsentMessage, RELEASE_RETRY_PERIOD};
+use crankpaddle_front::{Answer, Notification, PlayerId, RejectReason, SessionEndReason};
+use crankpaddle_net::clock;
+use crankpaddle_node_protocol::viewers::{self, cause};
+use crankpaddle_node_protocol::Tag;
+
+impl EventLoop {
+    /// Sends to a viewer's connection; false if it is gone.
+    pub(super) fn send_to_viewer(&self, connection: ConnectionId, bytes: &[u8]) -> bool {
+        self.connections.get(&connection).is_some_and(|connection| {
+            !connection.outbox.socket().is_closed() && connection.outbox.push(bytes)
+        })
+    }
+
+    pub(super) fn send_answer(&mut self, player: PlayerId, answer: &Answer) {
+        tracing::trace!(
+            session_id = self
+                .sessions
+                .get(&player)
+                .map(|session| display(session.session_id)),
+            ?answer,
+            "set-up answered"
+        );
+        match answer {
+            Answer::Established { .. } => self.send_established(player),
+            Answer::Rejected(reason, retry_after) => {
+                self.send_finish(
+                    player,
+                    rejection_cause(*reason),
+                    retry_after_ms(*retry_after),
+                );
+            }
+            Answer::Failed(_) => self.send_finish(player, cause::CUT, None),
+            // No viewer resumes or closes a session by its key here.
+            Answer::Superseded | Answer::Closed | Answer::UnknownSession => {}
+        }
+    }
+
+    fn send_established(&mut self, player: PlayerId) {
+        let Some(session) = self.sessions.get_mut(&player) else {
+            return;
+        };
+        let connection = session.connection;
+        let description = session.establish();
+        let message = viewers::started(session.session_id, &description);
+        self.set_up_answered(connection);
+        self.session_connections.retain(|id| *id != connection);
+        self.session_connections.push(connection);
+        self.send_to_viewer(connection, &message);
+    }
+
+    fn send_finish(&mut self, player: PlayerId, cause: u16, retry_after_ms: Option<u64>) {
+        let Some(session) = self.remove_session(player) else {
+            return;
+        };
+        let message = viewers::finish(session.session_id, cause, retry_after_ms);
+        self.send_to_viewer(session.connection, &message);
+    }
+
+    pub(super) fn notify_viewer(&mut self, player: PlayerId, notification: Notification) {
+        let Some(session_id) = self.sessions.get(&player).map(|session| session.session_id) else {
+            return;
+        };
+        let Some(message) = notification_message(session_id, &notification) else {
+            return;
+        };
+        let Some(session) = self.remove_session(player) else {
+            return;
+        };
+        tracing::trace!(%session_id, connection_id = session.connection.0, ?notification, "session ended");
+        self.send_notification(session.connection, message);
+    }
+
+    /// Sends the end of a session on its connection or on another.
+    ///
+    /// Why: a connection that never had a session may be a stranger's, and the notification would be lost there; so only those
+    /// that had one are used, the latest first.
+    fn send_notification(&mut self, connection: ConnectionId, message: Vec<u8>) {
+        if let Some(connection) = self.connections.get(&connection) {
+            connection.extend_output_deadline(clock::now().saturating_add(RELEASE_RETRY_PERIOD));
+        }
+        if self.send_to_viewer(connection, &message) {
+            return;
+        }
+        let mut others = self.session_connections.iter().rev();
+        if others.any(|other| self.send_to_viewer(*other, &message)) {
+            return;
+        }
+        self.unsent_notifications.push_back(UnsentMessage {
+            expires_at: clock::now().saturating_add(RELEASE_RETRY_PERIOD),
+            bytes: message,
+        });
+    }
+}
+
+fn rejection_cause(reason: RejectReason) -> u16 {
+    match reason {
+        RejectReason::NoCapacity | RejectReason::CrossZoneForbidden => cause::NO_CAPACITY,
+        RejectReason::Overload
+        | RejectReason::TooManyPending
+        | RejectReason::ShuttingDown
+        | RejectReason::Recovering => cause::CONGESTION,
+    }
+}
+
+/// What a viewer is sent; none where it is not told.
+fn notification_message(session_id: Tag, notification: &Notification) -> Option<Vec<u8>> {
+    match notification {
+        Notification::RungChanged(_) => None, // The protocol has no message for rungs.
+        Notification::SessionEnded(SessionEndReason::Finished, _) => {
+            Some(viewers::finish(session_id, cause::NORMAL, None))
+        }
+        Notification::SessionEnded(_, _) => Some(viewers::finish(session_id, cause::CUT, None)),
+        Notification::Migrate => Some(viewers::moved(session_id)),
+    }
+}
--- a/crates/node/src/event_loop/client_requests.rs
+++ b/crates/node/src/event_loop/client_requests.rs
@@ -1,294 +1,289 @@
-//! What viewers say and are told.
-use super::{
-    cause, clock, count, viewers, Answer, Call, ConnId, EventLoop, Input, Message, Notification,
-    OpenRequest, Ordering, PlayerId, RejectReason, Session, SessionEndReason, SetUpParams, Tag,
-    Time, LEFT_SLACK, MILLISECOND, RELEASE_FOR,
-};
+//! What viewers send: set-ups, releases, tests, and the end of their connections.
+use super::session::{Session, SessionState};
+use super::{ConnectionId, EventLoop, DEADLINE_SLACK, MILLISECOND};
+use crate::shared::increment;
+use crankpaddle_front::{Call, Input, OpenRequest, PlayerId, Time};
+use crankpaddle_net::clock;
+use crankpaddle_node_protocol::viewers::{self, cause, Message, SetUpParams};
+use crankpaddle_node_protocol::Tag;
+use std::sync::atomic::Ordering;
+
+/// A set-up whose fields are in range.
+struct SetUpRequest {
+    params: SetUpParams,
+    open: OpenRequest,
+}
 
 impl EventLoop {
-    pub(super) fn viewer(&mut self, conn: ConnId, message: Message, read: u64) {
+    pub(super) fn handle_viewer_message(
+        &mut self,
+        connection: ConnectionId,
+        message: Message,
+        received_at: u64,
+    ) {
         match message {
-            Message::Start(start) => self.start(conn, &start, read),
-            Message::Finish { tag, cause } => self.finish(conn, tag, cause),
-            Message::Echo(tag) => drop(self.say(conn, &viewers::echoed(tag))),
+            Message::Start(set_up) => self.handle_set_up(connection, &set_up, received_at),
+            Message::Finish { tag, cause } => self.handle_finish(connection, tag, cause),
+            Message::Echo(tag) => {
+                self.send_to_viewer(connection, &viewers::echoed(tag));
+            }
             Message::Idle => {}
         }
     }
 
-    pub(super) fn start(&mut self, conn: ConnId, start: &viewers::SetUp, read: u64) {
-        let tag = start.tag;
-        let ask = start
-            .set_up_params()
-            .and_then(|ask| self.open(tag, &ask).map(|open| (ask, open)));
-        if self.tags.contains_key(&tag) {
-            // One that is adopted may name what is held. Else: danger, an answer by this id would be taken for that of
-            // the set-up that has it, so no word is said.
-            if !matches!(&ask, Ok((ask, _)) if ask.at.is_some()) {
-                count(&self.shared.shed.twice);
-                self.shut(conn);
-            }
-            return;
+    fn handle_set_up(
+        &mut self,
+        connection: ConnectionId,
+        set_up: &viewers::SetUp,
+        received_at: u64,
+    ) {
+        let request = self.read_set_up(set_up);
+        if self.players.contains_key(&set_up.tag) {
+            return self.handle_duplicate(connection, request.as_ref().ok());
         }
-        let (ask, open) = match ask {
-            Ok(read) => read,
-            Err(field) => {
-                tracing::debug!(%tag, field, opts = ?start.opts, "a set-up that can't be read");
-                count(&self.shared.shed.out_of_range);
-                self.say(conn, &viewers::finish(tag, cause::INVALID, None));
-                return;
-            }
-        };
-        let blob = start.blob.clone().unwrap_or_default();
-        let mut session = Session {
-            tag,
-            conn,
-            class: open.class,
-            title: ask.key,
-            blob,
-            stands: false,
+        let request = match request {
+            Ok(request) => request,
+            Err(field) => return self.reject_invalid(connection, set_up, field),
         };
-        if let Some(at) = &ask.at {
-            let Some(server) = self.listed(at) else {
-                return;
-            };
-            (session.conn, session.blob, session.stands) = (ConnId::default(), String::new(), true);
-            let player = self.enter(session);
-            return self.tell_core(Input::Adopt {
-                player,
-                open,
-                server,
-            });
+        if request.params.current_server.is_some() {
+            self.adopt_session(set_up.tag, request);
+        } else {
+            self.open_session(connection, set_up, request, received_at);
+        }
+    }
+
+    /// A set-up under the id of another one. One that is to be adopted may name a session that is known already. Any other is
+    /// closed without an answer. Why: an answer by this id would be taken for that of the set-up that has it.
+    fn handle_duplicate(&mut self, connection: ConnectionId, request: Option<&SetUpRequest>) {
+        let is_adoption = request.is_some_and(|request| request.params.current_server.is_some());
+        if !is_adoption {
+            increment(&self.shared.drop_counters.duplicate);
+            self.close_viewer_connection(connection);
         }
-        let Some(of) = self.conns.get(&conn) else {
+    }
+
+    fn reject_invalid(
+        &mut self,
+        connection: ConnectionId,
+        set_up: &viewers::SetUp,
+        field: &'static str,
+    ) {
+        tracing::debug!(session_id = %set_up.tag, field, opts = ?set_up.opts, "invalid set-up");
+        increment(&self.shared.drop_counters.out_of_range);
+        self.send_to_viewer(
+            connection,
+            &viewers::finish(set_up.tag, cause::INVALID, None),
+        );
+    }
+
+    /// Adopts a session that plays already, if the list has its server.
+    fn adopt_session(&mut self, session_id: Tag, request: SetUpRequest) {
+        let SetUpRequest { params, open } = request;
+        let Some(server) = params
+            .current_server
+            .as_deref()
+            .and_then(|name| self.listed(name))
+        else {
             return;
         };
-        if of.open.load(Ordering::Relaxed) >= self.shared.budget.open_per_connection {
-            count(&self.shared.shed.crowded);
-            let advice = self.shared.config.fleet.settings.max_retry_after;
-            self.say(conn, &viewers::finish(tag, cause::CONGESTION, wait(advice)));
+        let player = self.insert_session(Session {
+            session_id,
+            connection: ConnectionId::default(),
+            class: open.class,
+            title: params.title_text,
+            state: SessionState::Established,
+        });
+        self.notify_core(Input::Adopt {
+            player,
+            open,
+            server,
+        });
+    }
+
+    fn open_session(
+        &mut self,
+        connection: ConnectionId,
+        set_up: &viewers::SetUp,
+        request: SetUpRequest,
+        received_at: u64,
+    ) {
+        let SetUpRequest { params, open } = request;
+        let session_id = set_up.tag;
+        let Some(viewer) = self.connections.get(&connection) else {
+            return;
+        };
+        let pending = viewer.pending_set_ups.load(Ordering::Relaxed);
+        if pending >= self.shared.budget.pending_set_ups_per_connection {
+            increment(&self.shared.drop_counters.too_many_pending);
+            let retry_after = self.shared.config.fleet.settings.max_retry_after;
+            let message =
+                viewers::finish(session_id, cause::CONGESTION, retry_after_ms(retry_after));
+            self.send_to_viewer(connection, &message);
             return;
         }
-        of.open.fetch_add(1, Ordering::AcqRel);
-        of.owe_until(read.saturating_add(open.max_wait));
-        tracing::trace!(%tag, conn = conn.0, ask = ?start.opts, "asked");
-        let player = self.enter(session);
-        let call = Call { player, number: 0 };
-        self.tell_core(Input::Open {
-            call,
+        viewer.pending_set_ups.fetch_add(1, Ordering::AcqRel);
+        viewer.extend_output_deadline(received_at.saturating_add(open.max_wait));
+        tracing::trace!(%session_id, connection_id = connection.0, opts = ?set_up.opts, "set-up received");
+        let description = set_up.blob.clone().unwrap_or_default();
+        let player = self.insert_session(Session {
+            session_id,
+            connection,
+            class: open.class,
+            title: params.title_text,
+            state: SessionState::AwaitingAnswer { description },
+        });
+        self.notify_core(Input::Open {
+            call: Call { player, number: 0 },
             open,
-            received: Time(read),
+            received: Time(received_at),
         });
     }
 
-    /// A session is known by its tag from now on; the player that it is to the core.
-    fn enter(&mut self, session: Session) -> PlayerId {
+    /// Makes a session known by its id; the player that it is to the core.
+    fn insert_session(&mut self, session: Session) -> PlayerId {
         self.last_player += 1;
         let player = PlayerId(self.last_player);
-        self.tags.insert(session.tag, player);
+        self.players.insert(session.session_id, player);
         self.sessions.insert(player, session);
         player
     }
 
+    /// Reads a set-up's fields and looks their names up; the error is the field that is missing or out of range.
+    fn read_set_up(&self, set_up: &viewers::SetUp) -> Result<SetUpRequest, &'static str> {
+        let params = set_up.set_up_params()?;
+        let open = self.open_request(set_up.tag, &params)?;
+        Ok(SetUpRequest { params, open })
+    }
+
     /// A set-up in the core's terms, or the field that is out of range.
-    pub(super) fn open(&self, tag: Tag, ask: &SetUpParams) -> Result<OpenRequest, &'static str> {
+    fn open_request(
+        &self,
+        session_id: Tag,
+        params: &SetUpParams,
+    ) -> Result<OpenRequest, &'static str> {
         let fleet = &self.shared.config.fleet;
         let class = fleet
             .classes
             .iter()
-            .position(|c| *c == ask.class)
+            .position(|class| *class == params.class)
             .ok_or("class")?;
-        let tenant = match &ask.tenant {
-            // Danger: taken for the first of them, it would be counted to who did not ask.
-            None if fleet.tenants.is_empty() => 0,
-            None => return Err("tenant"),
-            Some(name) => fleet
-                .tenants
-                .iter()
-                .position(|t| t == name)
-                .ok_or("tenant")?,
-        };
-        let settings = &fleet.settings;
-        let patience = ask.left.saturating_mul(MILLISECOND);
-        if ask.at.is_none() && patience > fleet.deadlines[class].saturating_add(LEFT_SLACK) {
+        let tenant = self.tenant_index(params.tenant.as_deref())?;
+        let max_wait = params.max_wait_ms.saturating_mul(MILLISECOND);
+        let longest_wait = fleet.deadlines[class].saturating_add(DEADLINE_SLACK);
+        if params.current_server.is_none() && max_wait > longest_wait {
             return Err("left");
         }
-        if ask.home >= settings.cells {
+        let settings = &fleet.settings;
+        if params.first_cell >= settings.cells {
             return Err("home");
         }
-        if ask.copies > settings.cells {
+        if params.cell_count > settings.cells {
             return Err("copies");
         }
-        if usize::from(ask.top) >= settings.rung_kb.len() {
+        if usize::from(params.max_rung) >= settings.rung_kb.len() {
             return Err("top");
         }
         Ok(OpenRequest {
-            key: tag.as_str().to_owned(),
-            viewer: ask.viewer,
+            key: session_id.as_str().to_owned(),
+            viewer: params.viewer,
             class: class as u8,
             tenant: tenant as u16,
-            title: ask.title,
-            first_cell: ask.home,
-            cell_count: ask.copies,
-            max_rung: ask.top,
-            max_wait: patience,
-            duration_hint: ask.hint.map(|ms| (ms * MILLISECOND as f64) as u64),
-            is_retry: ask.again,
-            is_migration: ask.moved,
+            title: params.title,
+            first_cell: params.first_cell,
+            cell_count: params.cell_count,
+            max_rung: params.max_rung,
+            max_wait,
+            duration_hint: params
+                .duration_hint_ms
+                .map(|ms| (ms * MILLISECOND as f64) as u64),
+            is_retry: params.is_retry,
+            is_migration: params.is_migration,
         })
     }
 
-    pub(super) fn finish(&mut self, conn: ConnId, tag: Tag, why: u16) {
-        tracing::trace!(%tag, conn = conn.0, why, "a viewer ends");
-        if let Some(player) = self.tags.get(&tag).copied() {
+    /// A tenant's place in the settings; a deployment without tenants has one that needs no name.
+    ///
+    /// Why: where there are tenants, a set-up without one must not be counted against the first of them.
+    fn tenant_index(&self, name: Option<&str>) -> Result<usize, &'static str> {
+        let tenants = &self.shared.config.fleet.tenants;
+        match name {
+            None if tenants.is_empty() => Ok(0),
+            None => Err("tenant"),
+            Some(name) => tenants
+                .iter()
+                .position(|tenant| tenant == name)
+                .ok_or("tenant"),
+        }
+    }
+
+    fn handle_finish(&mut self, connection: ConnectionId, session_id: Tag, reason: u16) {
+        tracing::trace!(%session_id, connection_id = connection.0, reason, "finish received");
+        if let Some(player) = self.players.get(&session_id).copied() {
             let Some(session) = self.sessions.get(&player) else {
                 return;
             };
-            // Only who waits for the answer may give the set-up up; a session that stands belongs to no connection.
-            if session.stands || session.conn == conn {
-                self.release_cause = why;
-                self.end(player);
+            // Only who waits for the answer may cancel the set-up; an established session belongs to no connection.
+            if session.is_established() || session.connection == connection {
+                self.release_cause = reason;
+                self.end_session(player);
                 self.release_cause = cause::CANCELLED;
             }
         }
-        self.say(conn, &viewers::finished(tag));
+        self.send_to_viewer(connection, &viewers::finished(session_id));
     }
 
     /// The viewer wants nothing more of this session.
-    pub(super) fn end(&mut self, player: PlayerId) {
-        self.forget(player);
-        self.tell_core(Input::Leave(player));
+    fn end_session(&mut self, player: PlayerId) {
+        self.remove_session(player);
+        self.notify_core(Input::Leave(player));
     }
 
-    pub(super) fn gone(&mut self, conn: ConnId) {
-        tracing::trace!(conn = conn.0, "a viewer's connection is gone");
-        let Some(gone) = self.conns.remove(&conn) else {
+    pub(super) fn viewer_disconnected(&mut self, id: ConnectionId) {
+        tracing::trace!(connection_id = id.0, "viewer disconnected");
+        let Some(connection) = self.connections.remove(&id) else {
             return;
         };
-        self.served.retain(|c| *c != conn);
-        if gone.open.load(Ordering::Relaxed) == 0 {
-            return; // Most that go: all sessions need not be looked at for each.
+        self.session_connections.retain(|other| *other != id);
+        if connection.pending_set_ups.load(Ordering::Relaxed) == 0 {
+            return; // Most connections: all sessions need not be looked at for each.
         }
-        let waits = self
+        let pending: Vec<PlayerId> = self
             .sessions
             .iter()
-            .filter(|(_, s)| s.conn == conn && !s.stands)
-            .map(|(p, _)| *p);
-        let waits: Vec<PlayerId> = waits.collect();
-        // No answer can reach these any more.
-        waits.into_iter().for_each(|player| self.end(player));
+            .filter(|(_, session)| session.connection == id && !session.is_established())
+            .map(|(player, _)| *player)
+            .collect();
+        for player in pending {
+            self.end_session(player); // No answer can reach it any more.
+        }
     }
 
-    pub(super) fn forget(&mut self, player: PlayerId) -> Option<Session> {
+    pub(super) fn remove_session(&mut self, player: PlayerId) -> Option<Session> {
         let session = self.sessions.remove(&player)?;
-        self.tags.remove(&session.tag);
-        if !session.stands {
-            self.answered_on(session.conn);
+        self.players.remove(&session.session_id);
+        if !session.is_established() {
+            self.set_up_answered(session.connection);
         }
         Some(session)
     }
 
-    pub(super) fn answered_on(&self, conn: ConnId) {
-        if let Some(conn) = self.conns.get(&conn) {
-            conn.open.fetch_sub(1, Ordering::AcqRel);
-            conn.used.store(clock::now(), Ordering::Relaxed);
-        }
-    }
-
-    /// False if the connection is gone.
-    pub(super) fn say(&mut self, conn: ConnId, bytes: &[u8]) -> bool {
-        self.conns
-            .get(&conn)
-            .is_some_and(|conn| !conn.outbox.socket().is_closed() && conn.outbox.push(bytes))
-    }
-
-    pub(super) fn shut(&mut self, conn: ConnId) {
-        if let Some(conn) = self.conns.get(&conn) {
-            conn.outbox.socket().close();
-        }
-    }
-
-    pub(super) fn answer(&mut self, player: PlayerId, answer: &Answer) {
-        tracing::trace!(tag = ?self.sessions.get(&player).map(|s| s.tag), ?answer, "answered");
-        match answer {
-            Answer::Established { .. } => {
-                let Some(session) = self.sessions.get_mut(&player) else {
-                    return;
-                };
-                let (conn, bytes) = (session.conn, viewers::started(session.tag, &session.blob));
-                session.stands = true;
-                session.blob = String::new();
-                self.answered_on(conn);
-                self.served.retain(|c| *c != conn);
-                self.served.push(conn);
-                self.say(conn, &bytes);
-            }
-            Answer::Rejected(why, advice) => {
-                let Some(session) = self.forget(player) else {
-                    return;
-                };
-                let why = match why {
-                    RejectReason::NoCapacity | RejectReason::CrossZoneForbidden => cause::NO_ROOM,
-                    RejectReason::Overload
-                    | RejectReason::TooManyPending
-                    | RejectReason::ShuttingDown
-                    | RejectReason::Recovering => cause::CONGESTION,
-                };
-                self.say(
-                    session.conn,
-                    &viewers::finish(session.tag, why, wait(*advice)),
-                );
-            }
-            Answer::Failed(_) => {
-                let Some(session) = self.forget(player) else {
-                    return;
-                };
-                self.say(
-                    session.conn,
-                    &viewers::finish(session.tag, cause::CUT, None),
-                );
-            }
-            // Nobody resumes or closes a session by its key here.
-            Answer::Superseded | Answer::Closed | Answer::UnknownSession => {}
+    /// One set-up fewer waits for its answer on this connection.
+    pub(super) fn set_up_answered(&self, connection: ConnectionId) {
+        if let Some(connection) = self.connections.get(&connection) {
+            connection.pending_set_ups.fetch_sub(1, Ordering::AcqRel);
+            connection.last_used.store(clock::now(), Ordering::Relaxed);
         }
     }
 
-    pub(super) fn notify(&mut self, player: PlayerId, notice: Notification) {
-        let bytes = |tag| match notice {
-            Notification::RungChanged(_) => None, // Viewers are not told of rungs.
-            Notification::SessionEnded(SessionEndReason::Finished, _) => {
-                Some(viewers::finish(tag, cause::NORMAL, None))
-            }
-            Notification::SessionEnded(_, _) => Some(viewers::finish(tag, cause::CUT, None)),
-            Notification::Migrate => Some(viewers::moved(tag)),
-        };
-        let Some(bytes) = self.sessions.get(&player).and_then(|s| bytes(s.tag)) else {
-            return;
-        };
-        let Some(session) = self.forget(player) else {
-            return;
-        };
-        tracing::trace!(tag = %session.tag, conn = session.conn.0, ?notice, "a session is over");
-        self.tell_viewers(session.conn, bytes);
-    }
-
-    /// Says that a session is over, on its connection or on another. Danger: one that never had a session may be a
-    /// stranger's, and the word would be lost there; so only those that had one are used, the latest first.
-    pub(super) fn tell_viewers(&mut self, conn: ConnId, bytes: Vec<u8>) {
-        if let Some(conn) = self.conns.get(&conn) {
-            conn.owe_until(clock::now().saturating_add(RELEASE_FOR));
-        }
-        if self.say(conn, &bytes) {
-            return;
-        }
-        let others: Vec<ConnId> = self.served.iter().rev().copied().collect();
-        if !others.into_iter().any(|other| self.say(other, &bytes)) {
-            self.unsaid
-                .push_back((clock::now().saturating_add(RELEASE_FOR), bytes));
+    fn close_viewer_connection(&self, connection: ConnectionId) {
+        if let Some(connection) = self.connections.get(&connection) {
+            connection.outbox.socket().close();
         }
     }
 }
 
-/// Advice to stay away, in the milliseconds in which viewers are told; none where there is none.
-fn wait(advice: u64) -> Option<u64> {
-    Some(advice / MILLISECOND).filter(|wait| *wait > 0)
+/// How long to stay away, in the milliseconds of the protocol; none where that is less than one.
+pub(super) fn retry_after_ms(retry_after: u64) -> Option<u64> {
+    let milliseconds = retry_after / MILLISECOND;
+    (milliseconds > 0).then_some(milliseconds)
 }
--- a/crates/node/src/event_loop/endpoint_list.rs
+++ b/crates/node/src/event_loop/endpoint_list.rs
@@ -1,154 +1,231 @@
-//! The directory's list in the module's terms.
-use super::{
-    clock, BTreeMap, Endpoint, EndpointListKind, Entry, EventLoop, HashMap, Health, Input,
-    Lifecycle, List, Server, ServerId, State, Time, VecDeque, MILLISECOND,
-};
+//! The directory's list in the core's terms.
+use super::server::Server;
+use super::{EventLoop, MILLISECOND};
+use crate::health::Health;
+use crankpaddle_front::{Endpoint, EndpointListKind, Input, Lifecycle, ServerId, Time};
+use crankpaddle_net::clock;
+use crankpaddle_node_protocol::directory::{Entry, List, State};
+use std::collections::BTreeMap;
+
+/// A server of a list that does not fit the settings.
+#[derive(Clone, PartialEq, Eq)]
+pub(super) struct IncompatibleServer {
+    name: String,
+    /// The field whose value the settings do not name.
+    field: &'static str,
+}
+
+/// A list, sorted into what fits the settings and what does not.
+struct SortedList {
+    endpoints: BTreeMap<ServerId, Entry>,
+    incompatible: Vec<IncompatibleServer>,
+}
 
 impl EventLoop {
-    pub(super) fn list(&mut self, list: List, kind: EndpointListKind) {
+    /// Takes a list over: the core is notified of what has changed.
+    pub(super) fn update_endpoints(&mut self, list: List, kind: EndpointListKind) {
         let now = clock::now();
-        let (mut listings, mut strange) = (Vec::new(), Vec::new());
-        let mut listed: BTreeMap<ServerId, Entry> = BTreeMap::new();
-        for entry in list.entries {
-            let id = server_id(&entry.name);
-            if let Err(field) = self.listing(id, &entry) {
-                strange.push((entry.name, field));
+        let SortedList {
+            endpoints: listed,
+            incompatible,
+        } = self.sort_list(list);
+        if !self.accept_list(incompatible, listed.is_empty()) {
+            return;
+        }
+        let previous = std::mem::take(&mut self.endpoints);
+        let mut changes = Vec::new();
+        for (id, entry) in &previous {
+            if listed.contains_key(id) {
                 continue;
             }
-            if listed.contains_key(&id) {
-                tracing::error!(server = entry.name, "two servers of one id in the list");
-                continue;
+            if let Ok(endpoint) = self.endpoint(*id, entry) {
+                changes.push(Endpoint {
+                    lifecycle: Lifecycle::Removed,
+                    ..endpoint
+                });
             }
-            listed.insert(id, entry);
-        }
-        if !self.is_ours(&strange, listed.is_empty()) {
-            return;
-        }
-        let old = std::mem::take(&mut self.listings);
-        for (id, entry) in old.iter().filter(|(id, _)| !listed.contains_key(id)) {
-            listings.extend(self.listing(*id, entry).map(|l| Endpoint {
-                lifecycle: Lifecycle::Removed,
-                ..l
-            }));
-            self.unlisted(*id);
+            self.server_unlisted(*id);
         }
         for (id, entry) in &listed {
-            let before = old.get(id);
+            let before = previous.get(id);
             if before == Some(entry) && kind == EndpointListKind::Delta {
                 continue;
             }
-            listings.extend(self.listing(*id, entry));
-            let elsewhere = before.is_some_and(|b| b.address != entry.address);
-            if elsewhere || before.is_some_and(|b| b.started_ms < entry.started_ms) {
-                self.another_life(*id, entry.started_ms.saturating_mul(MILLISECOND), elsewhere);
-            }
-            let note_every = self.shared.config.fleet.settings.update_interval;
-            let server = self.servers.entry(*id).or_insert_with(|| Server {
-                address: entry.address,
-                listed: true,
-                health: Health::new(now, note_every),
-                links: Vec::new(),
-                held: HashMap::new(),
-                standing: 0,
-                abandoned: HashMap::new(),
-                unsent: VecDeque::new(),
-            });
-            (server.address, server.listed) = (entry.address, true);
+            changes.extend(self.endpoint(*id, entry));
+            self.server_listed(*id, entry, before, now);
         }
-        self.listings = listed;
-        let drains = listings
+        self.endpoints = listed;
+        self.notify_of_changes(kind, changes);
+    }
+
+    fn notify_of_changes(&mut self, kind: EndpointListKind, changes: Vec<Endpoint>) {
+        let draining: Vec<ServerId> = changes
             .iter()
-            .filter(|l| l.lifecycle == Lifecycle::Draining)
-            .map(|l| l.server);
-        let drains: Vec<ServerId> = drains.collect();
-        if !listings.is_empty() {
-            self.tell_core(Input::EndpointList(kind, listings));
+            .filter(|endpoint| endpoint.lifecycle == Lifecycle::Draining)
+            .map(|endpoint| endpoint.server)
+            .collect();
+        if !changes.is_empty() {
+            self.notify_core(Input::EndpointList(kind, changes));
+        }
+        for server in draining {
+            self.requeue_connecting(server);
         }
-        drains.into_iter().for_each(|id| self.waits_no_more(id));
     }
 
     /// The server of this name, if the list has it.
     pub(super) fn listed(&self, name: &str) -> Option<ServerId> {
         let id = server_id(name);
-        self.listings
-            .get(&id)
-            .filter(|entry| entry.name == name)
-            .map(|_| id)
+        let entry = self.endpoints.get(&id)?;
+        (entry.name == name).then_some(id)
+    }
+
+    fn sort_list(&self, list: List) -> SortedList {
+        let mut endpoints: BTreeMap<ServerId, Entry> = BTreeMap::new();
+        let mut incompatible = Vec::new();
+        for entry in list.entries {
+            let id = server_id(&entry.name);
+            if let Err(field) = self.endpoint(id, &entry) {
+                incompatible.push(IncompatibleServer {
+                    name: entry.name,
+                    field,
+                });
+                continue;
+            }
+            if endpoints.contains_key(&id) {
+                tracing::error!(
+                    server_name = entry.name,
+                    "duplicate server id in endpoint list"
+                );
+                continue;
+            }
+            endpoints.insert(id, entry);
+        }
+        SortedList {
+            endpoints,
+            incompatible,
+        }
     }
 
-    /// Whether a list may be ours; `strange`: servers in it that do not fit our settings, with the field, `alone`: it has no others.
+    /// Whether a list may be taken over; incompatible servers are logged once, when they change. `has_no_endpoints`: it has no
+    /// other servers.
     ///
-    /// Danger: taken for the first that the settings name, what belongs to another deployment would be counted and sent to as
-    /// ours; and a list of nothing but such servers, as of a directory that is not ours, would end all that we hold. Harm: a
+    /// Why: taken for the first zone or kind that the settings name, what belongs to another deployment would be counted and sent
+    /// to as ours; and a list of nothing but such servers, as of a directory that is not ours, would end all sessions here. A
     /// server that is listed with a zone or kind that the settings lack takes no part until they name it.
-    fn is_ours(&mut self, strange: &[(String, &'static str)], alone: bool) -> bool {
-        let refused = alone && !strange.is_empty() && !self.listings.is_empty();
-        let news = self.strange.as_slice() != strange;
-        for (server, field) in strange.iter().filter(|_| news) {
-            tracing::error!(
-                server,
-                field,
-                "a listed server does not fit the settings and is left out"
-            );
+    fn accept_list(
+        &mut self,
+        incompatible: Vec<IncompatibleServer>,
+        has_no_endpoints: bool,
+    ) -> bool {
+        let is_rejected =
+            has_no_endpoints && !incompatible.is_empty() && !self.endpoints.is_empty();
+        if self.incompatible_servers != incompatible {
+            log_incompatible(&incompatible, is_rejected);
         }
-        if news && refused {
-            tracing::error!(
-                "no server in the list fits the settings: it is another deployment's; the one in force stays"
-            );
-        }
-        self.strange = strange.to_vec();
-        !refused
+        self.incompatible_servers = incompatible;
+        !is_rejected
     }
 
-    /// A server in the module's terms, or the field that the settings do not know.
-    fn listing(&self, server: ServerId, entry: &Entry) -> Result<Endpoint, &'static str> {
+    /// A server in the core's terms, or the field whose value the settings do not name.
+    fn endpoint(&self, server: ServerId, entry: &Entry) -> Result<Endpoint, &'static str> {
         let fleet = &self.shared.config.fleet;
-        // A deployment that names none has one.
-        let index = |names: &[String], name: &str| match names.iter().position(|n| n == name) {
-            None if names.is_empty() => Some(0),
-            found => found,
-        };
+        let zone = index_of(&fleet.zones, &entry.zone).ok_or("zone")?;
+        let kind = index_of(&fleet.kinds, &entry.kind).ok_or("kind")?;
+        if u32::from(entry.cell) >= fleet.settings.cells {
+            return Err("cell");
+        }
         Ok(Endpoint {
             server,
-            zone: index(&fleet.zones, &entry.zone).ok_or("zone")? as u8,
-            kind: index(&fleet.kinds, &entry.kind).ok_or("kind")? as u16,
-            cell: Some(entry.cell)
-                .filter(|c| u32::from(*c) < fleet.settings.cells)
-                .ok_or("cell")?,
+            zone: zone as u8,
+            kind: kind as u16,
+            cell: entry.cell,
             lifecycle: match entry.state {
                 State::Ready => Lifecycle::Ready,
                 State::Draining => Lifecycle::Draining,
             },
             weight: entry.weight,
-            started_at: Time(entry.started_ms.saturating_mul(MILLISECOND)),
+            started_at: Time(started_at(entry)),
         })
     }
 
-    /// A server is not in the list any more. Its links go on while something stands there, but a new connection to its
-    /// address may meet another server, so none is made.
-    fn unlisted(&mut self, id: ServerId) {
+    /// A server is in the list, new or changed.
+    fn server_listed(&mut self, id: ServerId, entry: &Entry, before: Option<&Entry>, now: u64) {
+        if let Some(before) = before {
+            let has_moved = before.address != entry.address;
+            if has_moved || before.started_ms < entry.started_ms {
+                self.new_incarnation(id, started_at(entry), has_moved);
+            }
+        }
+        let update_interval = self.shared.config.fleet.settings.update_interval;
+        let server = self
+            .servers
+            .entry(id)
+            .or_insert_with(|| Server::new(entry.address, Health::new(now, update_interval)));
+        server.address = entry.address;
+        server.is_listed = true;
+    }
+
+    /// A server is not in the list any more. Its links go on while the server holds them, but a new connection to its
+    /// address may reach another server, so none is made.
+    fn server_unlisted(&mut self, id: ServerId) {
         let Some(server) = self.servers.get_mut(&id) else {
             return;
         };
-        server.listed = false;
-        self.stop_connecting(id);
-        if self
+        server.is_listed = false;
+        self.cancel_connects(id);
+        let has_no_links = self
             .servers
             .get(&id)
-            .is_some_and(|server| server.links.is_empty())
-        {
-            self.lose(id);
+            .is_some_and(|server| server.links.is_empty());
+        if has_no_links {
+            self.server_lost(id);
         }
     }
 }
 
+fn log_incompatible(servers: &[IncompatibleServer], is_rejected: bool) {
+    for server in servers {
+        tracing::error!(
+            server_name = server.name,
+            field = server.field,
+            "incompatible server in endpoint list skipped"
+        );
+    }
+    if is_rejected {
+        tracing::error!(
+            reason = "no server fits the settings: the list is another deployment's",
+            "endpoint list rejected; the one in force stays"
+        );
+    }
+}
+
+/// A name's place in the settings; a deployment that names none has one.
+fn index_of(names: &[String], name: &str) -> Option<usize> {
+    if names.is_empty() {
+        return Some(0);
+    }
+    names.iter().position(|known| known == name)
+}
+
+/// When a server started late, nanoseconds; 0 where the list names no time.
+fn started_at(entry: &Entry) -> u64 {
+    entry.started_ms.saturating_mul(MILLISECOND)
+}
+
+/// The first hash value of FNV-1a, 32 bits.
+const FNV_OFFSET_BASIS: u32 = 0x811c_9dc5;
+/// The factor of FNV-1a, 32 bits.
+const FNV_PRIME: u32 = 0x0100_0193;
+
 /// A server's number: its id is 8 hex digits behind a dash; any other id is hashed, alike at every front.
 fn server_id(name: &str) -> ServerId {
-    let digits = name.rsplit('-').next().filter(|d| d.len() == 8);
-    let number = digits.and_then(|d| u32::from_str_radix(d, 16).ok());
-    ServerId(number.unwrap_or_else(|| {
-        name.bytes().fold(0x811c_9dc5, |h, b| {
-            (h ^ u32::from(b)).wrapping_mul(0x0100_0193)
-        })
-    }))
+    let digits = name.rsplit('-').next().filter(|digits| digits.len() == 8);
+    let number = digits.and_then(|digits| u32::from_str_radix(digits, 16).ok());
+    ServerId(number.unwrap_or_else(|| fnv1a(name)))
+}
+
+fn fnv1a(text: &str) -> u32 {
+    text.bytes().fold(FNV_OFFSET_BASIS, |hash, byte| {
+        (hash ^ u32::from(byte)).wrapping_mul(FNV_PRIME)
+    })
 }
--- /dev/null
+++ b/crates/node/src/event_loop/maintenance.rs
@@ -0,0 +1,154 @@
+//! What is due from time to time: servers and links are looked through, notifications are retried, counts are logged.
+use super::{ConnectionId, EventLoop, UnsentMessage, MILLISECOND, SECOND};
+use crate::shared::LinkId;
+use crankpaddle_front::{ServerId, Time};
+use std::sync::atomic::Ordering;
+
+/// Links, and what is to be released, are looked through so often.
+const MAINTENANCE_INTERVAL: u64 = 100 * MILLISECOND;
+/// Counters are logged so often.
+const COUNTS_LOG_INTERVAL: u64 = 10 * SECOND;
+/// Load estimates are traced so often.
+const LOAD_TRACE_INTERVAL: u64 = SECOND / 2;
+/// A link on which an attempt timed out in silence is closed after this time.
+const UNRESPONSIVE_LINK_LIFETIME: u64 = 2 * SECOND;
+
+/// Something that is done at an interval, counted from when it was last found due.
+pub(super) struct Periodic {
+    due_at: u64,
+    interval: u64,
+}
+
+impl Periodic {
+    fn first_after(now: u64, interval: u64) -> Periodic {
+        Periodic {
+            due_at: now + interval,
+            interval,
+        }
+    }
+
+    pub(super) fn due_at(&self) -> u64 {
+        self.due_at
+    }
+
+    /// Whether it is due; then it is due again an interval from `now`.
+    pub(super) fn is_due(&mut self, now: u64) -> bool {
+        let due = now >= self.due_at;
+        if due {
+            self.due_at = now + self.interval;
+        }
+        due
+    }
+}
+
+/// When the event loop's periodic work is due.
+pub(super) struct Schedule {
+    pub(super) maintenance: Periodic,
+    pub(super) counts_log: Periodic,
+    load_trace: Periodic,
+}
+
+impl Schedule {
+    pub(super) fn starting_at(now: u64) -> Schedule {
+        Schedule {
+            maintenance: Periodic::first_after(now, MAINTENANCE_INTERVAL),
+            counts_log: Periodic::first_after(now, COUNTS_LOG_INTERVAL),
+            load_trace: Periodic {
+                due_at: now,
+                interval: LOAD_TRACE_INTERVAL,
+            },
+        }
+    }
+}
+
+impl EventLoop {
+    pub(super) fn trace_load_estimates(&self, now: u64, schedule: &mut Schedule) {
+        if !tracing::enabled!(tracing::Level::TRACE) || !schedule.load_trace.is_due(now) {
+            return;
+        }
+        for (server, link, uplink, usable) in self.core.beliefs(Time(now)) {
+            tracing::trace!(server_id = server.0, link, uplink, usable, "load estimate");
+        }
+    }
+
+    pub(super) fn log_counts(&self) {
+        tracing::info!(counts = ?self.shared.counts(), dropped = ?self.shared.drop_counters, "counts");
+    }
+
+    pub(super) fn run_maintenance(&mut self, now: u64) {
+        let servers: Vec<ServerId> = self.servers.keys().copied().collect();
+        for server in servers {
+            self.maintain_server(server, now);
+        }
+        self.close_unresponsive_links(now);
+        self.retry_notifications(now);
+        self.publish_entries();
+    }
+
+    fn maintain_server(&mut self, id: ServerId, now: u64) {
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.remove_expired(now);
+        }
+        self.ensure_observed(id, now);
+        let Some(server) = self.servers.get(&id) else {
+            return;
+        };
+        if server.is_unused() {
+            self.close_links(id);
+            self.servers.remove(&id);
+        } else if !server.is_listed && server.health.wants_connect(now, true) {
+            self.server_lost(id); // Silent, and no connect may check it any more.
+        }
+    }
+
+    fn close_unresponsive_links(&mut self, now: u64) {
+        let expired: Vec<LinkId> = self
+            .links
+            .iter()
+            .filter(|(_, link)| link.is_expired(now, UNRESPONSIVE_LINK_LIFETIME))
+            .map(|(id, _)| *id)
+            .collect();
+        for link in expired {
+            self.close_link(link);
+        }
+    }
+
+    fn retry_notifications(&mut self, now: u64) {
+        self.unsent_notifications
+            .retain(|message| now < message.expires_at);
+        for message in std::mem::take(&mut self.unsent_notifications) {
+            self.retry_notification(message);
+        }
+    }
+
+    /// Sends a notification on any connection that takes it. Where none that had a session is left, any that has sent something
+    /// is better than none.
+    fn retry_notification(&mut self, message: UnsentMessage) {
+        let heard_from = self
+            .connections
+            .values()
+            .filter(|connection| connection.has_sent_message.load(Ordering::Relaxed))
+            .map(|connection| connection.id);
+        let mut candidates = self
+            .session_connections
+            .iter()
+            .rev()
+            .copied()
+            .chain(heard_from);
+        let is_sent = candidates.any(|id: ConnectionId| self.send_to_viewer(id, &message.bytes));
+        if !is_sent {
+            self.unsent_notifications.push_back(message);
+        }
+    }
+
+    fn publish_entries(&self) {
+        let of_servers: usize = self.servers.values().map(super::Server::entries).sum();
+        let own = self.sessions.len()
+            + self.players.len()
+            + self.attempts.len()
+            + self.unsent_notifications.len();
+        self.shared
+            .entries
+            .store(own + of_servers, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/node/src/event_loop/server_liveness.rs
@@ -0,0 +1,102 @@
+//! Whether servers with sessions are alive, and the end of sessions at those that are not.
+use super::{EventLoop, Link};
+use crankpaddle_front::{AttemptId, AttemptOutcome, Input, LoadReport, ServerId};
+
+impl EventLoop {
+    /// Sees to it that a server from which messages are needed has a link, and is connected to when it is silent.
+    pub(super) fn ensure_observed(&mut self, id: ServerId, now: u64) {
+        let has_link = self.find_link(id, Link::is_responsive).is_some();
+        let is_connecting = self.find_link(id, Link::is_connecting).is_some();
+        let Some(server) = self.servers.get_mut(&id) else {
+            return;
+        };
+        if !server.is_listed {
+            if server.links.is_empty() {
+                self.server_lost(id);
+            }
+            return;
+        }
+        let is_needed = server.established > 0 || !server.unsent.is_empty();
+        let wants_connect =
+            is_needed && !is_connecting && server.health.wants_connect(now, has_link);
+        if wants_connect && (self.has_link_capacity() || self.close_idle_link()) {
+            self.connect(id);
+        }
+    }
+
+    /// The list reports that a server began a new incarnation at `started_at`, or is at another address now: what ran in the
+    /// previous one has ended.
+    ///
+    /// Why: a machine that vanished and came back sends nothing about its previous incarnation, and messages of its new one
+    /// arrive, so that sessions of the previous one would stay here for ever; set-ups and releases would go out on dead
+    /// connections. And the list may be late: what was set up in the new incarnation before the list came goes on. A
+    /// server whose clock is ahead of ours by more than its start was late loses the sessions set up within that time.
+    pub(super) fn new_incarnation(&mut self, id: ServerId, started_at: u64, has_moved: bool) {
+        if has_moved {
+            self.cancel_connects(id);
+        }
+        let is_previous = |time: u64| has_moved || time < started_at;
+        let Some(server) = self.servers.get_mut(&id) else {
+            return;
+        };
+        server.unsent.clear();
+        let links = server.links.clone();
+        let lost = self.established_attempts(id, is_previous);
+        self.end_sessions(id, lost);
+        for link in links {
+            let is_stale = self
+                .links
+                .get(&link)
+                .is_some_and(|link| !link.is_connecting() && is_previous(link.connect_started_at));
+            if is_stale {
+                self.close_link(link);
+            }
+        }
+    }
+
+    /// All sessions at a server have ended.
+    pub(super) fn server_lost(&mut self, id: ServerId) {
+        let Some(server) = self.servers.get_mut(&id) else {
+            return;
+        };
+        server.unsent.clear();
+        server.abandoned.clear();
+        let lost = self.established_attempts(id, |_| true);
+        self.end_sessions(id, lost);
+        self.close_links(id);
+    }
+
+    /// Established attempts at a server whose set-up was sent at a time of which `sent` holds, by id.
+    fn established_attempts(&self, id: ServerId, sent: impl Fn(u64) -> bool) -> Vec<AttemptId> {
+        let Some(server) = self.servers.get(&id) else {
+            return Vec::new();
+        };
+        let mut established: Vec<AttemptId> = server
+            .attempts
+            .values()
+            .copied()
+            .filter(|attempt| {
+                self.attempts
+                    .get(attempt)
+                    .is_some_and(|attempt| attempt.state.is_established_and_sent(&sent))
+            })
+            .collect();
+        established.sort_unstable();
+        established
+    }
+
+    /// Sessions at a server have ended with it.
+    fn end_sessions(&mut self, server: ServerId, lost: Vec<AttemptId>) {
+        if !lost.is_empty() {
+            tracing::info!(server_id = server.0, sessions = lost.len(), "server lost");
+        }
+        for attempt in lost {
+            self.remove_attempt(attempt);
+            self.notify_core(Input::SessionEnded(
+                attempt,
+                AttemptOutcome::Reset,
+                LoadReport::new(),
+            ));
+        }
+    }
+}
--- a/crates/node/src/event_loop/server_messages.rs
+++ b/crates/node/src/event_loop/server_messages.rs
@@ -1,164 +1,107 @@
-//! What servers say.
-use super::{
-    cause, clock, count, cseq, rtsp, AttemptId, AttemptOutcome, EventLoop, Input, Kind, LinkId,
-    Live, LoadReport, Msg, ServerId, SessionUpdate, SetUpResult, Tag,
-};
+//! What servers send: responses to set-ups and health checks, updates on sessions, releases.
+use super::EventLoop;
+use crate::shared::LinkId;
+use crankpaddle_front::{AttemptId, AttemptOutcome, Input, LoadReport, ServerId, SessionUpdate};
+use crankpaddle_net::clock;
+use crankpaddle_node_protocol::rtsp::{self, cseq, status, Kind};
+use crankpaddle_node_protocol::viewers::cause;
 
 impl EventLoop {
-    pub(super) fn server(&mut self, id: LinkId, message: &rtsp::Message) {
+    pub(super) fn handle_server_message(&mut self, id: LinkId, message: &rtsp::Message) {
         let now = clock::now();
         let Some(link) = self.links.get_mut(&id) else {
             return;
         };
-        (link.heard, link.stale) = (now, None);
-        let server = link.server;
-        let Some(at) = self.servers.get_mut(&server) else {
+        link.record_received(now);
+        let server_id = link.server;
+        let Some(server) = self.servers.get_mut(&server_id) else {
             return;
         };
-        at.health.heard(now);
-        let held = message.session.and_then(|tag| at.held.get(&tag).copied());
-        tracing::trace!(link = id.0, server = server.0, tag = ?message.session, kind = ?message.kind, cseq = message.cseq,
-            headers = ?message.headers, known = held.is_some(), "a server says");
+        server.health.record_received(now);
+        let attempt = message
+            .session
+            .and_then(|session_id| server.attempts.get(&session_id).copied());
+        tracing::trace!(link_id = id.0, server_id = server_id.0, session_id = message.session.map(display),
+            kind = ?message.kind, cseq = message.cseq, headers = ?message.headers, known = attempt.is_some(),
+            "server message received");
         match &message.kind {
             Kind::Response(100..=199) => {}
             Kind::Response(status) => match message.cseq {
-                Some(cseq::SET_UP) => self.set_up_answered(id, server, held, *status, message),
-                Some(cseq::OPTIONS) => {
-                    let outcome = if *status == 200 {
-                        AttemptOutcome::Completed
-                    } else {
-                        AttemptOutcome::ServerError
-                    };
-                    let report = self.report(message);
-                    self.tell_core(Input::HealthCheckCompleted(server, outcome, report));
+                Some(cseq::SET_UP) => {
+                    self.handle_set_up_response(id, server_id, attempt, *status, message);
                 }
-                _ => {} // A release was heard.
+                Some(cseq::OPTIONS) => self.handle_health_response(server_id, *status, message),
+                _ => {} // The acknowledgement of a release.
             },
             Kind::Request(method, _) => match method.as_str() {
-                "ANNOUNCE" => {
-                    let note = message.note().and_then(|(name, figure)| note(name, figure));
-                    if let (Some(attempt), Some(note)) = (held, note) {
-                        self.tell_core(Input::SessionUpdated(attempt, note));
-                    }
-                }
-                "TEARDOWN" => {
-                    let cseq = message.cseq.unwrap_or(cseq::TEAR_DOWN);
-                    self.send_server(server, Some(id), rtsp::acknowledge(cseq, message.session));
-                    if let Some(attempt) = held {
-                        self.released(attempt, message);
-                    }
-                }
+                "ANNOUNCE" => self.handle_update(attempt, message),
+                "TEARDOWN" => self.handle_release(id, server_id, attempt, message),
                 _ => {}
             },
         }
     }
 
-    fn set_up_answered(
+    fn handle_health_response(&mut self, server: ServerId, status: u16, message: &rtsp::Message) {
+        let outcome = if status == status::OK {
+            AttemptOutcome::Completed
+        } else {
+            AttemptOutcome::ServerError
+        };
+        let report = self.load_report(message);
+        self.notify_core(Input::HealthCheckCompleted(server, outcome, report));
+    }
+
+    fn handle_update(&mut self, attempt: Option<AttemptId>, message: &rtsp::Message) {
+        let update = message
+            .note()
+            .and_then(|(name, figure)| session_update(name, figure));
+        if let (Some(attempt), Some(update)) = (attempt, update) {
+            self.notify_core(Input::SessionUpdated(attempt, update));
+        }
+    }
+
+    /// A server releases a session.
+    fn handle_release(
         &mut self,
         link: LinkId,
         server: ServerId,
-        held: Option<AttemptId>,
-        status: u16,
+        attempt: Option<AttemptId>,
         message: &rtsp::Message,
     ) {
-        let now = clock::now();
-        let out = |l: &Live| !l.answered && l.link == Some(link);
-        let Some(attempt) = held.filter(|a| self.live.get(a).is_some_and(out)) else {
-            // One that was given up and is set up all the same must not go on. Anything else under an id that nobody
-            // waits for, or a second copy, is dropped.
-            let tag = message.session.filter(|_| held.is_none() && status == 200);
-            let at = self.servers.get_mut(&server);
-            let late = tag
-                .zip(at)
-                .and_then(|(tag, at)| at.abandoned.remove(&tag).map(|_| tag));
-            if let Some(tag) = late {
-                return self.send_server(server, Some(link), rtsp::release(tag, cause::CANCELLED));
-            }
-            return count(&self.shared.shed.stray);
-        };
-        let report = self.report(message);
-        if status != 200 {
-            let outcome = match status {
-                453 => AttemptOutcome::Rejected,
-                454 => AttemptOutcome::NotSent,
-                504 => AttemptOutcome::Reset,
-                _ => AttemptOutcome::ServerError,
-            };
-            return self.set_up_ended(attempt, outcome, report);
-        }
-        let Some(text) = message.text() else {
-            // It ran, but what it says can't be passed on in a viewer's line.
-            count(&self.shared.shed.broken_links);
-            return self.link_ended(link, true);
-        };
-        // Danger: what the viewer is told must be the server's words on every way out of here that says it stands; on the one
-        // for sessions that were over already it was the viewer's own words back, and the session counted as never answered.
-        let player = self.live.get(&attempt).map(|live| live.player);
-        if let Some(session) = player.and_then(|player| self.sessions.get_mut(&player)) {
-            session.blob = text.to_owned();
-        }
-        // Danger: a session may be over when its answer is read: a viewer leaves a stream that is served far too little at
-        // once, and the release comes right behind the answer. 'It stands' would then reach a viewer who has gone, which
-        // counts as no answer at all. Harm: only what was read together is seen.
-        if let Some((outcome, last)) = self.release_behind(server, message.session) {
-            self.tell_core(Input::SessionEnded(attempt, outcome, last));
-            self.tell_core(Input::SetUpCompleted(attempt, SetUpResult::Started(report)));
-            self.drop_live(attempt);
-            return;
-        }
-        let Some(live) = self.live.get_mut(&attempt) else {
-            return;
-        };
-        live.answered = true;
-        if let Some(link) = self.links.get_mut(&link) {
-            link.open.retain(|a| *a != attempt);
+        let cseq = message.cseq.unwrap_or(cseq::TEAR_DOWN);
+        let acknowledgement = rtsp::acknowledge(cseq, message.session);
+        self.send_to_server(server, Some(link), acknowledgement);
+        if let Some(attempt) = attempt {
+            self.attempt_released(attempt, message);
         }
-        if let Some(at) = self.servers.get_mut(&server) {
-            at.standing += 1;
-            at.health.begins(now);
-        }
-        self.tell_core(Input::SetUpCompleted(attempt, SetUpResult::Started(report)));
-    }
-
-    /// The release of this session by its server, if it was read together with what is being heard now.
-    fn release_behind(
-        &self,
-        server: ServerId,
-        session: Option<Tag>,
-    ) -> Option<(AttemptOutcome, LoadReport)> {
-        let of_server = |link| self.links.get(link).is_some_and(|l| l.server == server);
-        let read = self.read.iter().filter_map(|msg| match msg {
-            Msg::Server(link, messages) if of_server(link) => Some(messages),
-            _ => None,
-        });
-        let release = read
-            .flatten()
-            .find(|m| m.session == session && m.is_release())?;
-        Some((over(release), self.report(release)))
     }
 
-    /// A server releases a session.
-    fn released(&mut self, attempt: AttemptId, message: &rtsp::Message) {
-        let Some(live) = self.live.get(&attempt) else {
+    fn attempt_released(&mut self, id: AttemptId, message: &rtsp::Message) {
+        let Some(attempt) = self.attempts.get(&id) else {
             return;
         };
-        let (player, report) = (live.player, self.report(message));
-        if !live.answered {
-            return self.set_up_ended(attempt, AttemptOutcome::Reset, report);
+        let (player, report) = (attempt.player, self.load_report(message));
+        if !attempt.state.is_established() {
+            return self.complete_set_up(id, AttemptOutcome::Reset, report);
         }
-        let outcome = over(message);
-        self.drop_live(attempt);
+        let outcome = release_outcome(message);
+        self.remove_attempt(id);
         if outcome == AttemptOutcome::Cancelled {
-            self.forget(player); // Its viewer ended it, or it was moved: no release is owed.
+            self.remove_session(player); // Its viewer ended it, or it was migrated: no release is to be sent.
         }
-        self.tell_core(Input::SessionEnded(attempt, outcome, report));
+        self.notify_core(Input::SessionEnded(id, outcome, report));
     }
 
-    /// The figures of a message's report that the settings name, in their order.
-    fn report(&self, message: &rtsp::Message) -> LoadReport {
+    /// The figures of a message's load report that the settings name, in their order.
+    pub(super) fn load_report(&self, message: &rtsp::Message) -> LoadReport {
         let figures = message.state();
+        let figure = |wanted: &str| {
+            figures
+                .iter()
+                .find(|(name, _)| *name == wanted)
+                .map(|(_, figure)| *figure)
+        };
         let fields = &self.shared.config.fleet.fields;
-        let figure = |name: &str| figures.iter().find(|(n, _)| *n == name).map(|(_, v)| *v);
         fields
             .iter()
             .filter_map(|(name, field)| Some((*field, figure(name)?)))
@@ -166,8 +109,8 @@
     }
 }
 
-/// How a session that stood came to its end.
-fn over(release: &rtsp::Message) -> AttemptOutcome {
+/// How an established session ended.
+pub(super) fn release_outcome(release: &rtsp::Message) -> AttemptOutcome {
     match release.cause() {
         Some(cause::NORMAL) => AttemptOutcome::Completed,
         Some(cause::CANCELLED) => AttemptOutcome::Cancelled,
@@ -175,7 +118,8 @@
     }
 }
 
-fn note(name: &str, figure: f64) -> Option<SessionUpdate> {
+/// An update in the core's terms; the names are the server protocol's.
+fn session_update(name: &str, figure: f64) -> Option<SessionUpdate> {
     Some(match name {
         "served" => SessionUpdate::DeliveryRatio(figure),
         "at_rung" => SessionUpdate::Rung(figure.clamp(0.0, 255.0).round() as u8),
--- /dev/null
+++ b/crates/node/src/event_loop/set_up_responses.rs
@@ -0,0 +1,154 @@
+//! Responses of servers to set-ups.
+use super::server_messages::release_outcome;
+use super::EventLoop;
+use crate::shared::{increment, LinkEnd, LinkId, Message};
+use crankpaddle_front::{AttemptId, AttemptOutcome, Input, LoadReport, ServerId, SetUpResult};
+use crankpaddle_net::clock;
+use crankpaddle_node_protocol::rtsp::{self, status};
+use crankpaddle_node_protocol::viewers::cause;
+use crankpaddle_node_protocol::Tag;
+
+/// A release that was read together with the answer before it.
+struct ImmediateRelease {
+    outcome: AttemptOutcome,
+    report: LoadReport,
+}
+
+impl EventLoop {
+    /// `known`: the attempt that the server has under the session of the response.
+    pub(super) fn handle_set_up_response(
+        &mut self,
+        link: LinkId,
+        server: ServerId,
+        known: Option<AttemptId>,
+        status: u16,
+        message: &rtsp::Message,
+    ) {
+        let now = clock::now();
+        let Some(attempt) = known.filter(|id| self.is_awaiting_answer_on(*id, link)) else {
+            let is_accepted_unknown = known.is_none() && status == status::OK;
+            return self.handle_unexpected_response(link, server, is_accepted_unknown, message);
+        };
+        let report = self.load_report(message);
+        if status != status::OK {
+            return self.complete_set_up(attempt, failure_outcome(status), report);
+        }
+        let Some(description) = message.text() else {
+            // The set-up ran, but its description can't be passed on in a viewer's line.
+            increment(&self.shared.drop_counters.broken_links);
+            return self.link_ended(link, LinkEnd::Malformed);
+        };
+        self.set_answered_description(attempt, description);
+        // Why: a session may be over when its answer is read: a viewer leaves a stream that is served far too little at once, and
+        // the release comes right behind the answer. "Established" would then reach a viewer who has gone, which counts as no
+        // answer at all. Only what was read together is seen.
+        if let Some(release) = self.release_behind(server, message.session) {
+            self.notify_core(Input::SessionEnded(
+                attempt,
+                release.outcome,
+                release.report,
+            ));
+            self.notify_core(Input::SetUpCompleted(attempt, SetUpResult::Started(report)));
+            self.remove_attempt(attempt);
+            return;
+        }
+        self.set_up_accepted(attempt, link, server, now, report);
+    }
+
+    fn is_awaiting_answer_on(&self, attempt: AttemptId, link: LinkId) -> bool {
+        self.attempts
+            .get(&attempt)
+            .is_some_and(|attempt| attempt.state.is_awaiting_answer_on(link))
+    }
+
+    /// An abandoned set-up that the server accepts all the same must not go on, so it is released. Any other response under an
+    /// id that no attempt waits for, or a second copy, is dropped.
+    fn handle_unexpected_response(
+        &mut self,
+        link: LinkId,
+        server: ServerId,
+        is_accepted_unknown: bool,
+        message: &rtsp::Message,
+    ) {
+        let session_id = message.session.filter(|_| is_accepted_unknown);
+        if let Some(session_id) = session_id {
+            if self.take_abandoned(server, session_id) {
+                let release = rtsp::release(session_id, cause::CANCELLED);
+                return self.send_to_server(server, Some(link), release);
+            }
+        }
+        increment(&self.shared.drop_counters.unexpected_responses);
+    }
+
+    fn take_abandoned(&mut self, server: ServerId, session_id: Tag) -> bool {
+        self.servers
+            .get_mut(&server)
+            .is_some_and(|server| server.abandoned.remove(&session_id).is_some())
+    }
+
+    /// Why: a viewer must be sent the server's description on every way that reports its session as established; on the one for
+    /// sessions that were over already it was the viewer's own, and the session counted as never answered.
+    fn set_answered_description(&mut self, attempt: AttemptId, description: &str) {
+        let Some(attempt) = self.attempts.get(&attempt) else {
+            return;
+        };
+        if let Some(session) = self.sessions.get_mut(&attempt.player) {
+            session.set_answered_description(description);
+        }
+    }
+
+    fn set_up_accepted(
+        &mut self,
+        id: AttemptId,
+        link: LinkId,
+        server: ServerId,
+        now: u64,
+        report: LoadReport,
+    ) {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        attempt.state = attempt.state.accepted();
+        if let Some(link) = self.links.get_mut(&link) {
+            link.pending.retain(|pending| *pending != id);
+        }
+        if let Some(server) = self.servers.get_mut(&server) {
+            server.established += 1;
+            server.health.session_established(now);
+        }
+        self.notify_core(Input::SetUpCompleted(id, SetUpResult::Started(report)));
+    }
+
+    /// The release of this session by its server, if it was read together with the message that is being handled.
+    fn release_behind(&self, server: ServerId, session: Option<Tag>) -> Option<ImmediateRelease> {
+        let is_of_server = |link| {
+            self.links
+                .get(link)
+                .is_some_and(|link| link.server == server)
+        };
+        let queued = self
+            .message_queue
+            .iter()
+            .filter_map(|message| match message {
+                Message::FromServer(link, messages) if is_of_server(link) => Some(messages),
+                _ => None,
+            });
+        let release = queued
+            .flatten()
+            .find(|message| message.session == session && message.is_release())?;
+        Some(ImmediateRelease {
+            outcome: release_outcome(release),
+            report: self.load_report(release),
+        })
+    }
+}
+
+/// What a response that does not accept a set-up means for the attempt.
+fn failure_outcome(status: u16) -> AttemptOutcome {
+    match status {
+        status::NOT_ENOUGH_BANDWIDTH => AttemptOutcome::Rejected,
+        status::SESSION_NOT_FOUND => AttemptOutcome::NotSent,
+        status::GATEWAY_TIMEOUT => AttemptOutcome::Reset,
+        _ => AttemptOutcome::ServerError,
+    }
+}
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -1,138 +1,112 @@
-//! What a server's words and silence say of the sessions that stand there.
+//! What a server's messages and silence mean for the sessions that are established there.
 //!
-//! A process that dies resets its connections; a machine that vanishes says nothing. A server with sessions speaks every
-//! few seconds (notes of its link), so one that is silent for longer is asked by connecting to it: whoever accepts is
-//! alive, also when it hangs. Danger: sessions of a vanished machine would stand here for ever. Harm: on a network that
-//! drops two connects in a row, sessions that play are given up.
+//! A process that dies resets its connections; a machine that vanishes sends nothing. A server with sessions sends something
+//! every few seconds (updates on its link), so one that is silent for longer is checked by connecting to it: whoever accepts
+//! is alive, also when it hangs.
+//!
+//! Why: sessions of a vanished machine would stay here for ever. The price: on a network that drops two connects in a row,
+//! sessions that play are given up.
 use std::time::Duration;
 
-/// Beyond the time between two notes, a silence of this length makes a server be asked.
-const GRACE: u64 = 500_000_000;
-/// Time between notes where the settings name none.
-const USUAL_NOTES: u64 = 4_000_000_000;
-/// Connects without an answer, one after the other, that tell a vanished machine.
-const MISSES: u32 = 2;
-/// Pause after a failed connect.
-const PAUSE: u64 = 200_000_000;
+/// Silence that is tolerated beyond the time between two updates, nanoseconds.
+const SILENCE_GRACE: u64 = 500_000_000;
+/// Time between updates where the settings name none, nanoseconds.
+const DEFAULT_UPDATE_INTERVAL: u64 = 4_000_000_000;
+/// Connects without a response, one after the other, that prove that a machine vanished.
+const MAX_MISSED_CONNECTS: u32 = 2;
+/// Backoff after a failed connect, nanoseconds.
+const CONNECT_BACKOFF: u64 = 200_000_000;
+/// A connect may take so long at least, whatever the settings name, nanoseconds.
+const MIN_CONNECT_TIMEOUT: u64 = 50_000_000;
+/// A connect may take so long at most, whatever the settings name, nanoseconds.
+const MAX_CONNECT_TIMEOUT: u64 = 2_000_000_000;
 
-/// What became of a connect.
+/// Why a connect failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Dialed {
-    /// It came about.
-    Up,
+pub(crate) enum ConnectFailure {
     /// Nobody listens there: the process is dead.
     Refused,
-    /// Nothing was heard.
-    Silent,
-    /// This machine could not even try; says nothing of the server.
-    Unable,
+    /// Nothing was received in time.
+    NoResponse,
+    /// This machine could not even try, which proves nothing about the server.
+    Local,
 }
 
 /// What is known of one server.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Health {
-    bound: u64,
-    heard: u64,
-    misses: u32,
-    pause: u64, // No connect before this time.
+    /// Silence for longer than this makes the server be checked.
+    max_silence: u64,
+    last_received: u64,
+    missed_connects: u32,
+    /// No connect before this time.
+    backoff_until: u64,
 }
 
 impl Health {
-    /// A server that was heard `now`; `note_every`: time between its notes, 0 where there are none.
-    pub(crate) fn new(now: u64, note_every: u64) -> Health {
-        let notes = if note_every == 0 {
-            USUAL_NOTES
+    /// A server that is new at `now`; `update_interval`: time between its updates, 0 where the settings name none.
+    pub(crate) fn new(now: u64, update_interval: u64) -> Health {
+        let interval = if update_interval == 0 {
+            DEFAULT_UPDATE_INTERVAL
         } else {
-            note_every
+            update_interval
         };
         Health {
-            bound: notes.saturating_add(GRACE),
-            heard: now,
-            misses: 0,
-            pause: 0,
+            max_silence: interval.saturating_add(SILENCE_GRACE),
+            last_received: now,
+            missed_connects: 0,
+            backoff_until: 0,
         }
     }
 
-    /// Something came from it.
-    pub(crate) fn heard(&mut self, now: u64) {
-        (self.heard, self.misses) = (now, 0);
+    /// Something was received from it.
+    pub(crate) fn record_received(&mut self, now: u64) {
+        self.last_received = now;
+        self.missed_connects = 0;
     }
 
-    /// The first session begins to stand here: nothing was to be heard before.
-    pub(crate) fn begins(&mut self, now: u64) {
-        self.heard = self.heard.max(now);
+    /// A session is established there: silence before that is no sign of anything.
+    pub(crate) fn session_established(&mut self, now: u64) {
+        self.last_received = self.last_received.max(now);
     }
 
-    /// Whether to connect, so as to hear of the sessions that stand there. `up`: there is a connection.
-    pub(crate) fn wants_dial(&self, now: u64, up: bool) -> bool {
-        now >= self.pause && (!up || now.saturating_sub(self.heard) > self.bound)
+    /// Whether to connect, so as to learn of the sessions there. `has_link`: there is a connection already.
+    pub(crate) fn wants_connect(&self, now: u64, has_link: bool) -> bool {
+        let is_silent = now.saturating_sub(self.last_received) > self.max_silence;
+        now >= self.backoff_until && (!has_link || is_silent)
     }
 
-    /// A connect came out; true if the sessions there are lost.
-    pub(crate) fn dialed(&mut self, now: u64, how: Dialed) -> bool {
-        match how {
-            Dialed::Up => {
-                self.heard(now);
+    /// A connect completed; true if the sessions there are lost.
+    pub(crate) fn connect_completed(
+        &mut self,
+        now: u64,
+        outcome: Result<(), ConnectFailure>,
+    ) -> bool {
+        match outcome {
+            Ok(()) => {
+                self.record_received(now);
                 false
             }
-            Dialed::Refused => {
-                self.pause = now.saturating_add(PAUSE);
+            Err(ConnectFailure::Refused) => {
+                self.backoff_until = now.saturating_add(CONNECT_BACKOFF);
                 true
             }
-            Dialed::Unable => {
-                self.pause = now.saturating_add(PAUSE);
+            Err(ConnectFailure::Local) => {
+                self.backoff_until = now.saturating_add(CONNECT_BACKOFF);
                 false
             }
-            Dialed::Silent => {
-                self.misses += 1;
-                self.misses >= MISSES
+            Err(ConnectFailure::NoResponse) => {
+                self.missed_connects += 1;
+                self.missed_connects >= MAX_MISSED_CONNECTS
             }
         }
     }
 }
 
-/// How long a connect may take at most, whatever the settings say.
-pub(crate) fn connect_within(setting: u64) -> Duration {
-    Duration::from_nanos(setting.clamp(50_000_000, 2_000_000_000))
+/// How long a connect may take, from the settings' nanoseconds.
+pub(crate) fn connect_timeout(setting: u64) -> Duration {
+    Duration::from_nanos(setting.clamp(MIN_CONNECT_TIMEOUT, MAX_CONNECT_TIMEOUT))
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    const SECOND: u64 = 1_000_000_000;
-
-    #[test]
-    fn a_silent_server_is_asked_and_given_up_after_two_silent_connects() {
-        let mut h = Health::new(10 * SECOND, 3 * SECOND);
-        assert!(
-            !h.wants_dial(13 * SECOND, true),
-            "between two notes silence is usual"
-        );
-        assert!(h.wants_dial(14 * SECOND, true));
-        assert!(
-            !h.dialed(14 * SECOND, Dialed::Silent),
-            "one lost connect says little"
-        );
-        assert!(h.wants_dial(14 * SECOND, true));
-        assert!(h.dialed(14 * SECOND + 1, Dialed::Silent));
-    }
-
-    #[test]
-    fn a_server_that_accepts_is_alive_and_one_that_refuses_is_dead() {
-        let mut h = Health::new(0, 0);
-        assert!(h.wants_dial(5 * SECOND, true));
-        assert!(!h.dialed(5 * SECOND, Dialed::Silent));
-        assert!(!h.dialed(5 * SECOND, Dialed::Up));
-        assert!(!h.wants_dial(6 * SECOND, true));
-        assert!(
-            !h.dialed(6 * SECOND, Dialed::Silent),
-            "misses count in a row only"
-        );
-        assert!(h.dialed(7 * SECOND, Dialed::Refused));
-        assert!(
-            !h.wants_dial(7 * SECOND, false),
-            "a refused connect is not repeated at once"
-        );
-        assert!(h.wants_dial(8 * SECOND, false));
-    }
-}
+mod tests;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,13 +1,14 @@
 //! The front node: the session front's core on the platform's sockets.
 //!
-//! One coroutine, the `hub`, owns the core and is the only one that hears and acts; all others read one socket each,
-//! tell the hub what they read and send what it gives them. Which server, rung, retry, refusal and advice is said by
-//! the decision module behind [`crankpaddle_front::Core`]; nothing here chooses any of them.
+//! One coroutine, the event loop, owns the core and is the only one that acts; all others read one socket each, send the event
+//! loop what they read and write what it gives them. Servers, rungs, retries, rejections and retry advice are chosen by the placement
+//! policy behind [`crankpaddle_front::Core`]; nothing here chooses any of them.
 //!
-//! - `viewers`: the listener and the viewers' connections;
-//! - `links`: connections to servers;
-//! - `poller`: the directory;
-//! - `health`: what a server's silence says of the sessions there, pure;
+//! - `event_loop`: all messages in one order, and what is done about each;
+//! - `viewer_reader`, `viewer_connection`, `connection_table`: the viewers' connections;
+//! - `server_connector`: connections to servers;
+//! - `directory_poller`: the directory;
+//! - `health`: what a server's silence means for the sessions there, pure;
 //! - `budget`: what the machine's limits leave for each of them, pure.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -18,18 +19,20 @@
 mod health;
 mod server_connector;
 mod shared;
-mod viewer_connections;
+mod viewer_connection;
+mod viewer_reader;
 
 use crankpaddle_front::EventObserver;
 use crankpaddle_net::{accept_while_capacity, listen, spawn, Stack};
 use crankpaddle_node_protocol::config::{Config, Mismatch};
-use shared::{Msg, Shared};
+use event_loop::EventLoop;
+use shared::{Message, Shared};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{mpsc, Arc, Mutex, PoisonError};
 
-/// A front node that runs.
+/// A running front node.
 pub struct Node {
     address: SocketAddr,
     shared: Arc<Shared>,
@@ -41,33 +44,33 @@
     /// Starts a node: it takes set-ups when this returns. [`crankpaddle_net::start`] must have been called before.
     ///
     /// # Errors
-    /// Its address can't be listened on, or the directory can't be asked.
+    /// Its address can't be listened on, or the directory can't be polled.
     pub fn start(config: Config) -> io::Result<Node> {
-        Node::start_tapped(config, None)
+        Node::start_observed(config, None)
     }
 
-    /// The same, and shows each event to `tap` before the module gets it.
+    /// The same, and shows each event to `observer` before the policy gets it.
     ///
     /// # Errors
     /// As [`Node::start`].
-    pub fn start_tapped(config: Config, tap: Option<EventObserver>) -> io::Result<Node> {
+    pub fn start_observed(config: Config, observer: Option<EventObserver>) -> io::Result<Node> {
         let listener = listen(config.listen)?;
         let address = listener.local_addr()?;
         let (shared, inbox) = Shared::new(config);
         let (finished, done) = mpsc::channel();
         let stopped = Arc::new(AtomicBool::new(false));
-        let hub = event_loop::EventLoop::new(shared.clone(), tap);
-        directory_poller::follow(shared.clone(), stopped.clone())?;
+        let event_loop = EventLoop::new(shared.clone(), observer);
+        directory_poller::start(shared.clone(), stopped.clone())?;
         spawn(Stack::Large, move || {
-            hub.run(&inbox);
+            event_loop.run(&inbox);
             let _ = finished.send(()); // Nobody may wait.
         });
-        let (for_room, of_viewers) = (shared.clone(), shared.clone());
+        let (for_slots, for_viewers) = (shared.clone(), shared.clone());
         accept_while_capacity(
             listener,
             stopped.clone(),
-            move || viewer_connections::make_room(&for_room),
-            move |socket, place| viewer_connections::serve(socket, &place, &of_viewers),
+            move || viewer_reader::acquire_slot(&for_slots),
+            move |socket, slot| viewer_reader::serve(socket, &slot, &for_viewers),
         );
         tracing::info!(%address, "listening");
         Ok(Node {
@@ -78,28 +81,28 @@
         })
     }
 
-    /// Where it listens.
+    /// The address that it listens on.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
 
-    /// Takes over what may change while it runs: where the directory is asked.
+    /// Takes over what may change while it runs: the directory's address.
     ///
-    /// Danger: a file of another node or customer, put in this one's place by mistake, names a directory that lists another
-    /// fleet. So nothing of a file is taken that differs in more. Harm: settings that changed wait for a restart, and keep the
+    /// Why: a file of another node or customer, put in this one's place by mistake, names a directory that lists another
+    /// fleet. So nothing of a file that differs in more is taken over; settings that changed wait for a restart, and keep the
     /// directory's new address waiting with them.
     ///
     /// # Errors
-    /// The configuration is not this node's; the one in force stays whole.
+    /// The configuration is not this node's; the one in force stays as it is.
     pub fn reload(&self, config: &Config) -> Result<(), Mismatch> {
-        self.shared.config.may_become(config)?;
+        self.shared.config.check_reload(config)?;
         self.shared.set_nameserver(config.nameserver);
         Ok(())
     }
 
-    /// Takes nothing new from now on and ends when nothing is owed any more.
+    /// Begins a graceful shutdown: no new set-ups from now on, and the end when no work is pending any more.
     pub fn drain(&self) {
-        self.shared.tell(Msg::Drain);
+        self.shared.send(Message::Drain);
     }
 
     /// Waits for the end that [`Node::drain`] brings. Call on a thread, not in a coroutine.
@@ -110,10 +113,10 @@
             .unwrap_or_else(PoisonError::into_inner)
             .recv();
         self.stopped.store(true, Ordering::Release);
-        let _ = TcpStream::connect(self.address); // Wakes the listener, which finds that it is over.
+        let _ = TcpStream::connect(self.address); // Wakes the listener, which finds that it is stopped.
     }
 
-    /// What is held now; all of it goes back to nothing when nothing is under way.
+    /// What the node holds now; all of it goes back to nothing when nothing is in progress.
     pub fn counts(&self) -> Counts {
         self.shared.counts()
     }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,7 +1,8 @@
-//! What all parts of a node share: the hub's queue, the viewers' connections, counters.
+//! What all parts of a node share: the event loop's inbox, the viewers' connections, counters.
 use crate::budget::Budget;
-use crate::connection_table::{Conn, ConnId, Viewers};
-use crate::health::Dialed;
+use crate::connection_table::ConnectionTable;
+use crate::health::ConnectFailure;
+use crate::viewer_connection::{ConnectionId, ViewerConnection};
 use crankpaddle_net::{IdleSweeper, WriteBuffer};
 use crankpaddle_node_protocol::config::Config;
 use crankpaddle_node_protocol::directory::List;
@@ -14,25 +15,34 @@
 
 /// A connection to a server; never used twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(crate) struct LinkId(pub u64);
+pub(crate) struct LinkId(pub(crate) u64);
 
-/// What the hub hears.
-pub(crate) enum Msg {
-    /// A viewer's connection is there.
-    Joined(Arc<Conn>),
-    /// A viewer said something; when it was read.
-    Viewer(ConnId, viewers::Message, u64),
-    /// A viewer's connection is gone.
-    Gone(ConnId),
-    /// A connect came out.
-    Dialed(LinkId, Dialed, Option<Arc<WriteBuffer>>),
-    /// A server said this, read at once.
-    Server(LinkId, Vec<rtsp::Message>),
-    /// A connection to a server is gone; whether because what came on it could not be read.
-    LinkDown(LinkId, bool),
-    /// The directory told a list.
-    List(List),
-    /// Take nothing new.
+/// How a connection to a server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LinkEnd {
+    /// One of both closed it between two messages.
+    Closed,
+    /// What came on it could not be read, or stopped within a message.
+    Malformed,
+}
+
+/// What the event loop handles.
+pub(crate) enum Message {
+    /// A viewer has connected.
+    ViewerConnected(Arc<ViewerConnection>),
+    /// A viewer sent something; when it was read, nanoseconds.
+    FromViewer(ConnectionId, viewers::Message, u64),
+    /// A viewer's connection has ended.
+    ViewerDisconnected(ConnectionId),
+    /// A connect to a server completed.
+    ConnectCompleted(LinkId, Result<Arc<WriteBuffer>, ConnectFailure>),
+    /// A server sent these messages, which were read at once.
+    FromServer(LinkId, Vec<rtsp::Message>),
+    /// A connection to a server has ended.
+    LinkClosed(LinkId, LinkEnd),
+    /// The directory has a new list.
+    EndpointList(List),
+    /// Take no new set-up, and end when nothing is pending.
     Drain,
 }
 
@@ -41,53 +51,61 @@
 pub struct Counts {
     /// Set-ups without an answer.
     pub waiting: usize,
-    /// Sessions that stand.
+    /// Established sessions.
     pub playing: usize,
     /// Connections from viewers.
     pub viewers: usize,
     /// Connections to servers, those under way included.
     pub links: usize,
-    /// Entries of the hub's maps of sessions, attempts and what is still to be released.
+    /// Entries of the event loop's tables of sessions, attempts and what is still to be released.
     pub entries: usize,
 }
 
-/// What was shed, by kind; told with the counts in the log.
+/// What was rejected or dropped, by kind; logged with the counts.
 #[derive(Debug, Default)]
-pub(crate) struct Shed {
-    pub unreadable: AtomicU64,
-    pub out_of_range: AtomicU64,
-    pub twice: AtomicU64,
-    pub crowded: AtomicU64,
-    pub broken_links: AtomicU64,
-    pub stray: AtomicU64,
+pub(crate) struct DropCounters {
+    /// Viewers' connections with bytes that are no messages.
+    pub(crate) malformed: AtomicU64,
+    /// Set-ups with a field that is missing or out of range.
+    pub(crate) out_of_range: AtomicU64,
+    /// Set-ups under the id of another one.
+    pub(crate) duplicate: AtomicU64,
+    /// Set-ups beyond what one connection may have without an answer.
+    pub(crate) too_many_pending: AtomicU64,
+    /// Servers' connections with bytes that are no messages.
+    pub(crate) broken_links: AtomicU64,
+    /// Servers' responses that no attempt waits for.
+    pub(crate) unexpected_responses: AtomicU64,
 }
 
+/// What all coroutines of a node share.
 pub(crate) struct Shared {
-    pub config: Config,
-    pub budget: Budget,
-    pub viewers: Viewers,
-    pub sweeper: IdleSweeper,
-    pub shed: Shed,
-    pub links: AtomicUsize,
-    pub waiting: AtomicUsize,
-    pub playing: AtomicUsize,
-    pub entries: AtomicUsize,
-    inbox: Sender<Msg>,
+    pub(crate) config: Config,
+    pub(crate) budget: Budget,
+    pub(crate) connections: ConnectionTable,
+    pub(crate) sweeper: IdleSweeper,
+    pub(crate) drop_counters: DropCounters,
+    /// Descriptors of connections to servers, those that are being closed included.
+    pub(crate) links: AtomicUsize,
+    pub(crate) waiting: AtomicUsize,
+    pub(crate) playing: AtomicUsize,
+    pub(crate) entries: AtomicUsize,
+    inbox: Sender<Message>,
     nameserver: Mutex<SocketAddr>,
 }
 
-/// Connections are looked through so often for those whose time has come.
-const SWEEP: Duration = Duration::from_millis(100);
+/// Connections are looked through so often for those that have expired.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
 
 impl Shared {
-    pub(crate) fn new(config: Config) -> (Arc<Shared>, Receiver<Msg>) {
+    pub(crate) fn new(config: Config) -> (Arc<Shared>, Receiver<Message>) {
         let (inbox, receiver) = channel();
         let budget = Budget::new(&config.limits);
         let shared = Shared {
             budget,
-            viewers: Viewers::new(budget.viewers),
-            sweeper: IdleSweeper::start(SWEEP),
-            shed: Shed::default(),
+            connections: ConnectionTable::new(budget.viewers),
+            sweeper: IdleSweeper::start(SWEEP_INTERVAL),
+            drop_counters: DropCounters::default(),
             links: AtomicUsize::new(0),
             waiting: AtomicUsize::new(0),
             playing: AtomicUsize::new(0),
@@ -99,8 +117,9 @@
         (Arc::new(shared), receiver)
     }
 
-    pub(crate) fn tell(&self, msg: Msg) {
-        let _ = self.inbox.send(msg); // The hub may have ended.
+    /// Sends a message to the event loop.
+    pub(crate) fn send(&self, message: Message) {
+        let _ = self.inbox.send(message); // The event loop may have ended.
     }
 
     pub(crate) fn nameserver(&self) -> SocketAddr {
@@ -121,13 +140,13 @@
         Counts {
             waiting: self.waiting.load(Ordering::Relaxed),
             playing: self.playing.load(Ordering::Relaxed),
-            viewers: self.viewers.count(),
+            viewers: self.connections.count(),
             links: self.links.load(Ordering::Relaxed),
             entries: self.entries.load(Ordering::Relaxed),
         }
     }
 }
 
-pub(crate) fn count(of: &AtomicU64) {
-    of.fetch_add(1, Ordering::Relaxed);
+pub(crate) fn increment(counter: &AtomicU64) {
+    counter.fetch_add(1, Ordering::Relaxed);
 }
--- /dev/null
+++ b/crates/node/src/viewer_connection.rs
@@ -0,0 +1,97 @@
+//! A viewer's connection as all parts of the node see it, and the work that is pending on it.
+use crankpaddle_net::WriteBuffer;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+
+/// A viewer's connection; never used twice.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct ConnectionId(pub(crate) u64);
+
+/// Whether input that was not read, or not handled, counts as pending work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum UnreadInput {
+    /// It counts.
+    Include,
+    /// Only set-ups that were handled, and their answers, count.
+    Ignore,
+}
+
+/// A viewer's connection, and what is pending on it: [`ViewerConnection::has_pending_work`].
+pub(crate) struct ViewerConnection {
+    pub(crate) id: ConnectionId,
+    pub(crate) outbox: WriteBuffer,
+    /// Messages that were read and that the event loop has not handled yet.
+    pub(crate) queued_messages: AtomicUsize,
+    /// Set-ups on it that were handled and wait for an answer.
+    pub(crate) pending_set_ups: AtomicUsize,
+    /// Whether a message is partially received.
+    pub(crate) has_partial_message: AtomicBool,
+    /// Until when anybody waits for what is in the outbox, nanoseconds.
+    pub(crate) output_deadline: AtomicU64,
+    /// Whether a complete message was received.
+    pub(crate) has_sent_message: AtomicBool,
+    /// When something last came of it, nanoseconds.
+    pub(crate) last_used: AtomicU64,
+}
+
+impl ViewerConnection {
+    pub(crate) fn new(id: ConnectionId, outbox: WriteBuffer, now: u64) -> ViewerConnection {
+        ViewerConnection {
+            id,
+            outbox,
+            queued_messages: AtomicUsize::new(0),
+            pending_set_ups: AtomicUsize::new(0),
+            has_partial_message: AtomicBool::new(false),
+            output_deadline: AtomicU64::new(0),
+            has_sent_message: AtomicBool::new(false),
+            last_used: AtomicU64::new(now),
+        }
+    }
+
+    /// Somebody waits for what is written until then; the time never gets shorter.
+    pub(crate) fn extend_output_deadline(&self, until: u64) {
+        self.output_deadline.fetch_max(until, Ordering::Relaxed);
+    }
+
+    /// Whether something that was read, handled or not, has no answer.
+    fn has_unanswered_input(&self) -> bool {
+        self.queued_messages.load(Ordering::Acquire) > 0
+            || self.pending_set_ups.load(Ordering::Acquire) > 0
+    }
+
+    /// Whether what the viewer sent has not been read, or only partially.
+    fn has_unread_input(&self) -> bool {
+        self.has_partial_message.load(Ordering::Acquire) || self.outbox.socket().has_unread()
+    }
+
+    /// Whether anything is pending on it: input that is unread, input that was read and is not handled, set-ups that were handled and
+    /// have no answer, and answers that the kernel has not taken while somebody waits for them. A set-up passes through
+    /// these in turn and is in one of them at any time, so whoever closes a connection, or ends, checks this and nothing else.
+    ///
+    /// Why: load shedding and shutdown each looked at handled set-ups only; one that was read and still queued, or whose
+    /// answer a slow reader had not taken, was lost.
+    pub(crate) fn has_pending_work(&self, now: u64, unread: UnreadInput) -> bool {
+        let has_output =
+            now < self.output_deadline.load(Ordering::Relaxed) && !self.outbox.is_empty();
+        let has_pending_set_ups = self.pending_set_ups.load(Ordering::Acquire) > 0;
+        if self.outbox.socket().is_closed() {
+            return false;
+        }
+        if has_pending_set_ups || has_output {
+            return true;
+        }
+        unread == UnreadInput::Include && (self.has_unanswered_input() || self.has_unread_input())
+    }
+
+    /// When a message that begins now must be complete.
+    ///
+    /// Why: closed within it, the connection would take with it the set-ups that wait for their answers there; these come
+    /// first.
+    pub(crate) fn message_deadline(&self, now: u64, timeout: u64) -> u64 {
+        let start = if self.has_unanswered_input() {
+            now.max(self.output_deadline.load(Ordering::Relaxed))
+        } else {
+            now
+        };
+        start.saturating_add(timeout)
+    }
+}
--- /dev/null
+++ b/crates/node/src/viewer_reader.rs
@@ -0,0 +1,119 @@
+//! Reading viewers' connections, and closing those that send nothing in time.
+use crate::shared::{increment, Message, Shared};
+use crate::viewer_connection::ViewerConnection;
+use crankpaddle_net::{clock, Socket, WriteBuffer};
+use crankpaddle_node_protocol::viewers::{self, Decoder};
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+
+/// A client that sends nothing, or begins a message and does not complete it, is closed after this time, nanoseconds. Bad clients
+/// have to get an answer or a close within 3 s.
+const MESSAGE_TIMEOUT: u64 = 2_000_000_000;
+/// Bytes read from the kernel at once; then other coroutines run.
+const READ_SIZE: usize = 4096;
+
+/// The slot of one connection among those that may be open; free again when this is dropped.
+pub(crate) struct ConnectionSlot(Arc<Shared>);
+
+impl Drop for ConnectionSlot {
+    fn drop(&mut self) {
+        self.0.connections.release_slot();
+    }
+}
+
+/// A slot for one more connection. If none is free, the connection of least use is closed, so that one soon is.
+pub(crate) fn acquire_slot(shared: &Arc<Shared>) -> Option<ConnectionSlot> {
+    let is_acquired = shared.connections.acquire_slot();
+    let slot = ConnectionSlot(shared.clone());
+    is_acquired.then_some(slot)
+}
+
+/// Reads a viewer's connection until it ends.
+pub(crate) fn serve(socket: Socket, _slot: &ConnectionSlot, shared: &Arc<Shared>) {
+    let now = clock::now();
+    let socket = Arc::new(socket);
+    socket.set_expiry(now.saturating_add(MESSAGE_TIMEOUT));
+    shared.sweeper.watch(&socket);
+    let outbox = WriteBuffer::new(socket.clone(), shared.budget.outbox);
+    let id = shared.connections.next_id();
+    let connection = Arc::new(ViewerConnection::new(id, outbox, now));
+    shared.connections.insert(&connection);
+    shared.send(Message::ViewerConnected(connection.clone()));
+    Reader::new(&connection, shared).run();
+    socket.close();
+    shared.connections.remove(connection.id);
+    shared.send(Message::ViewerDisconnected(connection.id));
+}
+
+/// Reads one connection.
+struct Reader<'a> {
+    connection: &'a ViewerConnection,
+    shared: &'a Shared,
+    decoder: Decoder,
+    messages: Vec<viewers::Message>,
+    has_partial_message: bool,
+}
+
+impl<'a> Reader<'a> {
+    fn new(connection: &'a ViewerConnection, shared: &'a Shared) -> Reader<'a> {
+        Reader {
+            connection,
+            shared,
+            decoder: Decoder::default(),
+            messages: Vec::new(),
+            has_partial_message: false,
+        }
+    }
+
+    fn run(mut self) {
+        let outbox = &self.connection.outbox;
+        outbox.read_each::<READ_SIZE>(|bytes| self.handle_bytes(bytes));
+    }
+
+    /// Passes the messages in `bytes` on; false when the connection is to be closed.
+    fn handle_bytes(&mut self, bytes: &[u8]) -> bool {
+        let now = clock::now();
+        let decoded = self.decoder.feed(bytes, &mut self.messages);
+        let has_complete_message = !self.messages.is_empty();
+        if has_complete_message {
+            self.pass_messages_on(now);
+        }
+        if let Err(error) = decoded {
+            tracing::debug!(connection_id = self.connection.id.0, reason = %error, "malformed viewer stream");
+            increment(&self.shared.drop_counters.malformed);
+            return false;
+        }
+        self.watch_partial_message(now, has_complete_message);
+        // False: it sends something, and not in time what it is to send.
+        !self.connection.outbox.socket().is_expired(now)
+    }
+
+    fn pass_messages_on(&mut self, now: u64) {
+        let connection = self.connection;
+        connection.outbox.socket().set_expiry(u64::MAX);
+        connection.has_sent_message.store(true, Ordering::Relaxed);
+        connection.last_used.store(now, Ordering::Relaxed);
+        connection
+            .queued_messages
+            .fetch_add(self.messages.len(), Ordering::AcqRel);
+        for message in self.messages.drain(..) {
+            self.shared
+                .send(Message::FromViewer(connection.id, message, now));
+        }
+    }
+
+    /// Bounds the time of a partially received message, from its first byte, not anew with each.
+    fn watch_partial_message(&mut self, now: u64, has_complete_message: bool) {
+        let connection = self.connection;
+        let is_partial = self.decoder.has_partial_message();
+        let is_new = has_complete_message || !self.has_partial_message;
+        if is_partial && is_new {
+            let deadline = connection.message_deadline(now, MESSAGE_TIMEOUT);
+            connection.outbox.socket().set_expiry(deadline);
+        }
+        self.has_partial_message = is_partial;
+        connection
+            .has_partial_message
+            .store(is_partial, Ordering::Release);
+    }
+}
--- a/crates/node/tests/events.rs
+++ b/crates/node/tests/events.rs
@@ -213,7 +213,7 @@
 }
 
 impl Tapped {
-    fn start(servers: u32) -> (Rig, Tapped) {
+    fn start(servers: u32) -> (Harness, Tapped) {
         let (tell, events) = channel();
         let mut plain = Plain::default();
         let tap = move |_, event: &Event| {
@@ -221,9 +221,9 @@
                 let _ = tell.send(text); // The test may be over.
             }
         };
-        let rig = Rig::start_tapped(servers, |_| {}, Some(Box::new(tap)));
+        let harness = Harness::start_observed(servers, |_| {}, Some(Box::new(tap)));
         (
-            rig,
+            harness,
             Tapped {
                 events,
                 heard: Vec::new(),
@@ -249,45 +249,45 @@
 
 #[test]
 fn the_module_hears_the_same_from_sockets_as_from_the_simulator() {
-    let (rig, mut tapped) = Tapped::start(1);
-    let mut viewer = rig.viewer();
-    let server = &rig.servers[0];
-    viewer.say(&set_up(tag(1), PAID, "-1", &format!(";at:{}", server.name)));
+    let (harness, mut tapped) = Tapped::start(1);
+    let mut viewer = harness.viewer();
+    let server = &harness.servers[0];
+    viewer.send_json(&set_up(tag(1), PAID, "-1", &format!(";at:{}", server.name)));
     tapped.until("adopted");
-    let link = server.opened();
-    server.send(link, &note(tag(1), "at_rung", 1.0));
+    let link = server.wait_for_connection();
+    server.send(link, &session_update(tag(1), "at_rung", 1.0));
     tapped.until("note 0");
     // Comes again, is set up; the server tells of its link before it answers.
     let mut again = set_up(tag(2), FREE, "15000", ";again:1");
     again["opts"]["retry"] = serde_json::json!("1");
-    viewer.say(&again);
-    let (_, conn, _) = rig.set_up();
-    server.send(conn, &note(tag(2), "link_use", 0.25));
-    server.send(conn, &stands(tag(2), "x"));
+    viewer.send_json(&again);
+    let (_, conn, _) = harness.next_set_up();
+    server.send(conn, &session_update(tag(2), "link_use", 0.25));
+    server.send(conn, &accepted(tag(2), "x"));
     tapped.until("note 1");
-    server.send(conn, &note(tag(2), "served", 0.5));
+    server.send(conn, &session_update(tag(2), "served", 0.5));
     tapped.until("note 1");
     server.send(conn, b"TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: 0000000000000002\r\nReason: cause=16\r\nX-State: x0:0.5;later:3\r\nContent-Length: 0\r\n\r\n");
     tapped.until("ended 1");
     // Paid, and refused as full with a report.
     viewer.start(tag(3), PAID, 15_000);
-    let (_, conn, _) = rig.set_up();
+    let (_, conn, _) = harness.next_set_up();
     server.send(conn, &response(453, 1, tag(3), "X-State: x0:0.75\r\n", ""));
     tapped.until("ended 2");
     // Given up by its viewer.
     viewer.start(tag(4), PAID, 15_000);
-    rig.set_up();
+    harness.next_set_up();
     viewer.finish(tag(4), 16);
     tapped.until("ended 3");
     // The adopted one is cut.
     server.send(link, &rtsp::release(tag(1), 41));
     tapped.until("ended 0");
     for priority in [1, 2] {
-        rig.directory.tell(|told| {
+        harness.directory.update(|told| {
             told.serial += 1;
             match priority {
-                1 => told.lines[0].priority = 1,
-                _ => told.lines.clear(),
+                1 => told.servers[0].priority = 1,
+                _ => told.servers.clear(),
             }
         });
         tapped.until("Delta");
@@ -320,20 +320,20 @@
 
 #[test]
 fn a_connection_that_breaks_while_its_server_lives_is_no_death() {
-    let (rig, mut tapped) = Tapped::start(1);
-    let mut viewer = rig.viewer();
+    let (harness, mut tapped) = Tapped::start(1);
+    let mut viewer = harness.viewer();
     // Noise: who sends it is alive.
     viewer.start(tag(1), FREE, 15_000);
-    let (server, conn, _) = rig.set_up();
+    let (server, conn, _) = harness.next_set_up();
     server.send(conn, b"\x00\x01");
     tapped.until("ended 0 0 ServerId(1) ServerError closed false");
     // Cut off, while another connection stands.
-    let (rig, mut tapped) = Tapped::start(1);
-    let mut viewer = rig.viewer();
+    let (harness, mut tapped) = Tapped::start(1);
+    let mut viewer = harness.viewer();
     viewer.start(tag(1), PAID, 15_000);
-    let (server, first, _) = rig.set_up();
+    let (server, first, _) = harness.next_set_up();
     viewer.start(tag(2), PAID, 15_000);
-    let (_, second, _) = rig.set_up();
+    let (_, second, _) = harness.next_set_up();
     server.close(first);
     tapped.until("ended 0 0 ServerId(1) ServerError closed false");
     // The last one: for all one knows the process died.
--- a/crates/node/tests/made_up.rs
+++ b/crates/node/tests/made_up.rs
@@ -19,7 +19,7 @@
 
 #[test]
 fn a_deployment_of_other_names_is_served_with_the_rules_kept() {
-    let rig = Rig::start_with(3, |config| {
+    let harness = Harness::start_with(3, |config| {
         let class = |name: &str, semantics: &str, span: u64| {
             json!({"name": name, "aim": 2_000_000_000u64, "deadline": 9_000_000_000u64, "semantics": semantics,
                 "key-scope": "all", "memory-span": span, "worth": 1.5})
@@ -47,14 +47,14 @@
             instance["zone"] = json!("");
         }
     });
-    let mut viewer = rig.viewer();
+    let mut viewer = harness.viewer();
     assert_eq!(viewer.echo()["rc"], 1);
     let mut stories: BTreeMap<String, Story> = BTreeMap::new();
     for n in 1..=REQUESTS {
         let class = n as usize % 3;
         let mut asked = set_up(tag(n), CLASSES[class], "8000", "");
         asked["opts"]["tenant"] = json!(format!("t{}", n % 7));
-        viewer.say(&asked);
+        viewer.send_json(&asked);
         stories.insert(
             tag(n).as_str().to_owned(),
             Story {
@@ -67,8 +67,8 @@
     while answered < REQUESTS {
         // All that lies at the servers is out together; then each is answered, each way in turn; then the answers are read.
         let mut out = BTreeMap::new();
-        for server in &rig.servers {
-            while let Some((conn, message)) = server.look_for("SETUP") {
+        for server in &harness.servers {
+            while let Some((conn, message)) = server.try_take_request("SETUP") {
                 let of = session_of(&message);
                 let story = stories
                     .get_mut(of.as_str())
@@ -99,13 +99,13 @@
             let answer = match heard % 4 {
                 0 => response(453, 1, of, "", ""),
                 1 => response(500, 1, of, "", ""),
-                _ => stands(of, "described"),
+                _ => accepted(of, "described"),
             };
             server.send(conn, &answer);
         }
-        viewer.say(&json!({"verb": "ECHO", "tag": "00000000000000ff", "opts": {}, "rc": 0}));
+        viewer.send_json(&json!({"verb": "ECHO", "tag": "00000000000000ff", "opts": {}, "rc": 0}));
         loop {
-            let line = viewer.line();
+            let line = viewer.next_message();
             if line["verb"] == "ECHOED" {
                 break;
             }
@@ -123,6 +123,6 @@
             );
         }
     }
-    let stood = rig.node.counts().playing;
+    let stood = harness.node.counts().playing;
     assert!(stood > 20, "{stood} of {REQUESTS} stand");
 }
