--- a/crates/node/tests/sessions.rs
+++ b/crates/node/tests/sessions.rs
@@ -5,14 +5,14 @@
 
 #[test]
 fn a_session_from_its_set_up_to_its_end() {
-    let rig = Rig::start(1);
-    let mut viewer = rig.viewer();
+    let harness = Harness::start(1);
+    let mut viewer = harness.viewer();
     assert_eq!(viewer.echo()["rc"], 1);
     let blob = "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\nm=audio \u{e9}\r\n";
     let mut asked = set_up(tag(1), FREE, "1500", "");
     asked["blob"] = json!(blob);
-    viewer.say(&asked);
-    let (server, conn, message) = rig.set_up();
+    viewer.send_json(&asked);
+    let (server, conn, message) = harness.next_set_up();
     assert_eq!(
         (message.cseq, message.session, message.text()),
         (Some(1), Some(tag(1)), Some(blob))
@@ -32,104 +32,106 @@
         conn,
         b"RTSP/1.0 100 Trying\r\nCSeq: 1\r\nSession: 0000000000000001\r\nContent-Length: 0\r\n\r\n",
     );
-    server.send(conn, &stands(tag(1), "made\r\nhere\r\n"));
-    let answer = viewer.line();
+    server.send(conn, &accepted(tag(1), "made\r\nhere\r\n"));
+    let answer = viewer.next_message();
     assert_eq!(
         (&answer["verb"], &answer["blob"]),
         (&json!("STARTED"), &json!("made\r\nhere\r\n"))
     );
-    server.send(conn, &note(tag(1), "link_use", 0.5));
+    server.send(conn, &session_update(tag(1), "link_use", 0.5));
     server.send(conn, b"TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: 0000000000000001\r\nReason: cause=16\r\nX-State: x0:0.4\r\nContent-Length: 0\r\n\r\n");
-    let end = viewer.line();
+    let end = viewer.next_message();
     assert_eq!(
         (&end["verb"], &end["tag"], &end["rc"]),
         (&json!("FINISH"), &json!("0000000000000001"), &json!(16))
     );
-    rig.idle();
+    harness.wait_until_idle();
 }
 
 #[test]
 fn a_set_up_given_up_is_withdrawn_and_a_late_answer_gets_a_release() {
-    let rig = Rig::start(1);
-    let mut viewer = rig.viewer();
+    let harness = Harness::start(1);
+    let mut viewer = harness.viewer();
     viewer.start(tag(1), PAID, 15_000);
-    let (server, conn, _) = rig.set_up();
+    let (server, conn, _) = harness.next_set_up();
     viewer.finish(tag(1), 16);
-    assert_eq!(viewer.line()["verb"], "FINISHED");
-    let (_, given_up) = server.said("TEARDOWN");
+    assert_eq!(viewer.next_message()["verb"], "FINISHED");
+    let (_, given_up) = server.wait_for_request("TEARDOWN");
     assert_eq!((given_up.session, given_up.cause()), (Some(tag(1)), None));
-    server.send(conn, &stands(tag(1), "too late"));
-    let (_, release) = server.said("TEARDOWN");
+    server.send(conn, &accepted(tag(1), "too late"));
+    let (_, release) = server.wait_for_request("TEARDOWN");
     assert_eq!((release.session, release.cause()), (Some(tag(1)), Some(31)));
     assert_eq!(
         viewer.echo()["verb"],
         "ECHOED",
         "no answer follows one that was given up"
     );
-    rig.idle();
+    harness.wait_until_idle();
 }
 
 #[test]
 fn a_connection_that_ends_withdraws_what_waits_on_it_and_nothing_else() {
-    let rig = Rig::start(1);
-    let (mut first, mut second) = (rig.viewer(), rig.viewer());
-    let (server, _) = rig.session(&mut second, tag(2), FREE);
+    let harness = Harness::start(1);
+    let (mut first, mut second) = (harness.viewer(), harness.viewer());
+    let (server, _) = harness.establish(&mut second, tag(2), FREE);
     first.start(tag(1), PAID, 15_000);
-    let (_, message) = server.said("SETUP");
+    let (_, message) = server.wait_for_request("SETUP");
     assert_eq!(message.session, Some(tag(1)));
     drop(first);
-    let (_, given_up) = server.said("TEARDOWN");
+    let (_, given_up) = server.wait_for_request("TEARDOWN");
     assert_eq!((given_up.session, given_up.cause()), (Some(tag(1)), None));
     assert_eq!(second.echo()["verb"], "ECHOED");
     wait("the other session stands", || {
-        rig.node.counts().playing == 1 && rig.node.counts().waiting == 0
+        harness.node.counts().playing == 1 && harness.node.counts().waiting == 0
     });
 }
 
 #[test]
 fn a_session_outlives_its_connection_and_its_release_goes_out_on_another() {
-    let rig = Rig::start(1);
-    let (mut first, mut second) = (rig.viewer(), rig.viewer());
-    let (server, conn) = rig.session(&mut first, tag(1), FREE);
-    rig.session(&mut second, tag(2), FREE);
+    let harness = Harness::start(1);
+    let (mut first, mut second) = (harness.viewer(), harness.viewer());
+    let (server, conn) = harness.establish(&mut first, tag(1), FREE);
+    harness.establish(&mut second, tag(2), FREE);
     drop(first);
-    wait("it is seen to be gone", || rig.node.counts().viewers == 1);
+    wait("it is seen to be gone", || {
+        harness.node.counts().viewers == 1
+    });
     server.send(conn, &crankpaddle_node_protocol::rtsp::release(tag(1), 16));
-    let end = second.line();
+    let end = second.next_message();
     assert_eq!(
         (&end["verb"], &end["tag"], &end["rc"]),
         (&json!("FINISH"), &json!(tag(1).as_str()), &json!(16))
     );
     // What ends a session may come on any connection, too.
-    let mut third = rig.viewer();
+    let mut third = harness.viewer();
     third.finish(tag(2), 31);
-    assert_eq!(third.line()["verb"], "FINISHED");
-    let (_, release) = server.said("TEARDOWN");
+    assert_eq!(third.next_message()["verb"], "FINISHED");
+    let (_, release) = server.wait_for_request("TEARDOWN");
     assert_eq!((release.session, release.cause()), (Some(tag(2)), Some(31)));
-    rig.idle();
+    harness.wait_until_idle();
 }
 
 /// Seen on a day of herds: the server's answer, and 0.2 ms behind it the release of a viewer who left a stream that was
 /// served at a third. Said to stand, the session counted as never answered.
 #[test]
 fn a_session_that_was_cut_when_its_answer_is_read_is_answered_as_failed_and_never_said_to_stand() {
-    let rig = Rig::start(1);
-    let mut viewer = rig.viewer();
+    let harness = Harness::start(1);
+    let mut viewer = harness.viewer();
     for (n, cause) in [(1, 31), (2, 16), (3, 41)] {
         viewer.start(tag(n), PAID, 15_000);
-        let (server, conn, _) = rig.set_up();
-        let mut both = stands(tag(n), "x").to_vec();
+        let (server, conn, _) = harness.next_set_up();
+        let mut both = accepted(tag(n), "x").to_vec();
         both.extend(crankpaddle_node_protocol::rtsp::release(tag(n), cause));
         server.send(conn, &both);
         if cause == 16 {
-            let stood = viewer.line();
+            let stood = viewer.next_message();
             assert_eq!(
                 (&stood["verb"], &stood["blob"]),
                 (&json!("STARTED"), &json!("x")),
                 "it has come to its end"
             );
         }
-        let (end, answer) = (if cause == 16 { 16 } else { 41 }, viewer.line());
+        let (end, answer) = (if cause == 16 { 16 } else { 41 }, viewer.next_message());
         assert_eq!(
             (&answer["verb"], &answer["rc"]),
             (&json!("FINISH"), &json!(end)),
@@ -137,22 +139,24 @@
         );
         assert_eq!(viewer.echo()["verb"], "ECHOED", "one answer");
     }
-    rig.idle();
+    harness.wait_until_idle();
 }
 
 #[test]
 fn a_release_waits_for_a_connection_where_there_is_none() {
-    let rig = Rig::start(1);
-    let mut first = rig.viewer();
-    let (server, conn) = rig.session(&mut first, tag(1), FREE);
+    let harness = Harness::start(1);
+    let mut first = harness.viewer();
+    let (server, conn) = harness.establish(&mut first, tag(1), FREE);
     drop(first);
-    wait("no viewer is connected", || rig.node.counts().viewers == 0);
+    wait("no viewer is connected", || {
+        harness.node.counts().viewers == 0
+    });
     server.send(conn, &crankpaddle_node_protocol::rtsp::release(tag(1), 41));
-    wait("the session is over", || rig.node.counts().playing == 0);
-    let mut next = rig.viewer();
+    wait("the session is over", || harness.node.counts().playing == 0);
+    let mut next = harness.viewer();
     let first = next.echo();
     let end = if first["verb"] == "ECHOED" {
-        next.line()
+        next.next_message()
     } else {
         first
     };
@@ -164,29 +168,36 @@
 
 #[test]
 fn sessions_that_play_already_are_held_once_and_released() {
-    let rig = Rig::start(1);
-    let mut viewer = rig.viewer();
-    let at = |n| set_up(tag(n), PAID, "-1", &format!(";at:{}", rig.servers[0].name));
-    viewer.say(&at(1));
-    viewer.say(&at(1));
-    viewer.say(&set_up(tag(3), PAID, "-1", ";at:s-ffffffff"));
+    let harness = Harness::start(1);
+    let mut viewer = harness.viewer();
+    let at = |n| {
+        set_up(
+            tag(n),
+            PAID,
+            "-1",
+            &format!(";at:{}", harness.servers[0].name),
+        )
+    };
+    viewer.send_json(&at(1));
+    viewer.send_json(&at(1));
+    viewer.send_json(&set_up(tag(3), PAID, "-1", ";at:s-ffffffff"));
     assert_eq!(viewer.echo()["verb"], "ECHOED", "no answer is owed");
     assert_eq!(
-        rig.node.counts().playing,
+        harness.node.counts().playing,
         1,
         "a second time and an unknown server add nothing"
     );
-    let (server, conn) = rig.session(&mut viewer, tag(2), FREE);
-    viewer.say(&at(2));
+    let (server, conn) = harness.establish(&mut viewer, tag(2), FREE);
+    viewer.send_json(&at(2));
     assert_eq!(viewer.echo()["verb"], "ECHOED");
     assert_eq!(
-        rig.node.counts().playing,
+        harness.node.counts().playing,
         2,
         "one that is held already stays one"
     );
-    server.send(conn, &note(tag(1), "at_rung", 1.0));
+    server.send(conn, &session_update(tag(1), "at_rung", 1.0));
     server.send(conn, &crankpaddle_node_protocol::rtsp::release(tag(1), 16));
-    let end = viewer.line();
+    let end = viewer.next_message();
     assert_eq!(
         (&end["verb"], &end["tag"]),
         (&json!("FINISH"), &json!(tag(1).as_str()))
@@ -195,18 +206,20 @@
 
 #[test]
 fn a_server_with_adopted_sessions_is_connected_to_unasked_and_its_death_releases_them() {
-    let rig = Rig::start(1);
-    let mut viewer = rig.viewer();
-    rig.session(&mut viewer, tag(9), FREE);
+    let harness = Harness::start(1);
+    let mut viewer = harness.viewer();
+    harness.establish(&mut viewer, tag(9), FREE);
     let server = Server::start(7);
-    let mut told = lines(&rig.servers);
-    told.extend(lines(std::slice::from_ref(&server)));
-    rig.directory.tell(|t| (t.serial, t.lines) = (2, told));
-    rig.directory.wait_asked(3);
-    viewer.say(&set_up(tag(1), PAID, "-1", &format!(";at:{}", server.name)));
-    server.opened(); // Its notes and releases need a connection.
-    server.die();
-    let end = viewer.line();
+    let mut told = listed_servers(&harness.servers);
+    told.extend(listed_servers(std::slice::from_ref(&server)));
+    harness
+        .directory
+        .update(|t| (t.serial, t.servers) = (2, told));
+    harness.directory.wait_for_queries(3);
+    viewer.send_json(&set_up(tag(1), PAID, "-1", &format!(";at:{}", server.name)));
+    server.wait_for_connection(); // Its notes and releases need a connection.
+    server.kill();
+    let end = viewer.next_message();
     assert_eq!(
         (&end["verb"], &end["tag"], &end["rc"]),
         (&json!("FINISH"), &json!(tag(1).as_str()), &json!(41))
@@ -215,12 +228,12 @@
 
 #[test]
 fn a_refusal_says_when_to_come_back_and_a_refused_paid_one_was_never_sent() {
-    let rig = Rig::start(1);
-    let mut viewer = rig.viewer();
+    let harness = Harness::start(1);
+    let mut viewer = harness.viewer();
     viewer.start(tag(1), PAID, 15_000);
-    let (server, conn, _) = rig.set_up();
+    let (server, conn, _) = harness.next_set_up();
     server.send(conn, &response(453, 1, tag(1), "X-State: x0:1.4\r\n", ""));
-    let end = viewer.line();
+    let end = viewer.next_message();
     assert_eq!(
         (&end["verb"], &end["rc"]),
         (&json!("FINISH"), &json!(34)),
@@ -231,7 +244,7 @@
         .and_then(|w| w.parse().ok())
         .expect("advice");
     assert!((1..=1000).contains(&wait), "{wait}");
-    rig.idle();
+    harness.wait_until_idle();
 }
 
 #[test]
@@ -244,19 +257,19 @@
         (504, false),
         (404, false),
     ] {
-        let rig = Rig::start(2);
-        let mut viewer = rig.viewer();
+        let harness = Harness::start(2);
+        let mut viewer = harness.viewer();
         viewer.start(tag(1), PAID, 15_000);
-        let (server, conn, _) = rig.set_up();
+        let (server, conn, _) = harness.next_set_up();
         server.send(conn, &response(status, 1, tag(1), "", ""));
         if again {
-            let (other, conn, message) = rig.set_up();
+            let (other, conn, message) = harness.next_set_up();
             assert_ne!(other.name, server.name);
             assert_eq!(message.session, Some(tag(1)), "the id stays");
-            other.send(conn, &stands(tag(1), "x"));
-            assert_eq!(viewer.line()["verb"], "STARTED", "{status}");
+            other.send(conn, &accepted(tag(1), "x"));
+            assert_eq!(viewer.next_message()["verb"], "STARTED", "{status}");
         } else {
-            let end = viewer.line();
+            let end = viewer.next_message();
             assert_eq!(
                 (&end["verb"], &end["rc"]),
                 (&json!("FINISH"), &json!(41)),
@@ -270,74 +283,74 @@
 #[test]
 fn a_connection_that_breaks_may_have_run_and_one_that_is_refused_has_not() {
     for class in [FREE, PAID] {
-        let rig = Rig::start(2);
-        let mut viewer = rig.viewer();
+        let harness = Harness::start(2);
+        let mut viewer = harness.viewer();
         viewer.start(tag(1), class, 15_000);
-        let (server, conn, _) = rig.set_up();
+        let (server, conn, _) = harness.next_set_up();
         server.close(conn);
         if class == FREE {
-            let (other, conn, _) = rig.set_up();
+            let (other, conn, _) = harness.next_set_up();
             assert_ne!(other.name, server.name);
-            other.send(conn, &stands(tag(1), "x"));
-            assert_eq!(viewer.line()["verb"], "STARTED");
+            other.send(conn, &accepted(tag(1), "x"));
+            assert_eq!(viewer.next_message()["verb"], "STARTED");
             // What may stand at the first is released there.
-            let (_, release) = server.said("TEARDOWN");
+            let (_, release) = server.wait_for_request("TEARDOWN");
             assert_eq!((release.session, release.cause()), (Some(tag(1)), Some(41)));
         } else {
-            assert_eq!(viewer.line()["rc"], 41);
+            assert_eq!(viewer.next_message()["rc"], 41);
         }
-        let rig = Rig::start(2);
-        rig.servers[0].die();
-        let mut viewer = rig.viewer();
+        let harness = Harness::start(2);
+        harness.servers[0].kill();
+        let mut viewer = harness.viewer();
         for n in 0..4 {
             viewer.start(tag(n), class, 15_000);
-            let (server, conn, message) = rig.set_up();
-            assert_eq!(server.name, rig.servers[1].name);
-            server.send(conn, &stands(session_of(&message), "x"));
-            assert_eq!(viewer.line()["verb"], "STARTED");
+            let (server, conn, message) = harness.next_set_up();
+            assert_eq!(server.name, harness.servers[1].name);
+            server.send(conn, &accepted(session_of(&message), "x"));
+            assert_eq!(viewer.next_message()["verb"], "STARTED");
         }
     }
 }
 
 #[test]
 fn a_silent_server_fails_a_paid_set_up_in_time_and_is_told() {
-    let rig = Rig::start(1);
-    let mut viewer = rig.viewer();
+    let harness = Harness::start(1);
+    let mut viewer = harness.viewer();
     let before = std::time::Instant::now();
     viewer.start(tag(1), PAID, 400);
-    let (server, _, _) = rig.set_up();
-    let end = viewer.line();
+    let (server, _, _) = harness.next_set_up();
+    let end = viewer.next_message();
     assert_eq!((&end["verb"], &end["rc"]), (&json!("FINISH"), &json!(41)));
     assert!(
         before.elapsed().as_millis() >= 350,
         "no earlier than its time"
     );
-    let (_, given_up) = server.said("TEARDOWN");
+    let (_, given_up) = server.wait_for_request("TEARDOWN");
     assert_eq!((given_up.session, given_up.cause()), (Some(tag(1)), None));
 }
 
 #[test]
 fn a_drained_node_refuses_the_new_and_ends_with_the_last_session() {
-    let rig = Rig::start(1);
-    let mut viewer = rig.viewer();
-    let (server, conn) = rig.session(&mut viewer, tag(1), FREE);
+    let harness = Harness::start(1);
+    let mut viewer = harness.viewer();
+    let (server, conn) = harness.establish(&mut viewer, tag(1), FREE);
     viewer.start(tag(2), PAID, 15_000);
-    let (_, waiting, _) = rig.set_up();
-    rig.node.drain();
-    let mut late = rig.viewer();
+    let (_, waiting, _) = harness.next_set_up();
+    harness.node.drain();
+    let mut late = harness.viewer();
     wait("a new set-up is refused", || {
         late.start(tag(3), FREE, 15_000);
-        late.line()["rc"] == 42
+        late.next_message()["rc"] == 42
     });
-    server.send(waiting, &stands(tag(2), "x"));
+    server.send(waiting, &accepted(tag(2), "x"));
     assert_eq!(
-        viewer.line()["verb"],
+        viewer.next_message()["verb"],
         "STARTED",
         "what was taken is answered"
     );
     for n in [1, 2] {
         server.send(conn, &crankpaddle_node_protocol::rtsp::release(tag(n), 16));
-        assert_eq!(viewer.line()["verb"], "FINISH");
+        assert_eq!(viewer.next_message()["verb"], "FINISH");
     }
-    rig.node.wait();
+    harness.node.wait();
 }
--- /dev/null
+++ b/crates/node/tests/support/directory.rs
@@ -0,0 +1,153 @@
+//! A stand-in directory.
+use super::{wait, Server};
+use hickory_proto::op::{Message as Dns, MessageType, OpCode, ResponseCode};
+use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
+use hickory_proto::rr::{Name, RData, Record};
+use std::collections::VecDeque;
+use std::net::{IpAddr, SocketAddr, UdpSocket};
+use std::str::FromStr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+/// One line of the directory: id, address, zone, kind, priority, start.
+#[derive(Clone, Debug)]
+pub(crate) struct ListedServer {
+    pub name: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub kind: String,
+    pub priority: u16,
+    pub started_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct DirectoryState {
+    pub serial: u32,
+    pub servers: Vec<ListedServer>,
+    /// Answers with a failure, a cut, an older list or nothing instead.
+    pub fault: Option<DirectoryFault>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum DirectoryFault {
+    Failure,
+    Truncated,
+    OtherId,
+    Silence,
+    /// Each answer comes when so many further questions have been asked.
+    Behind(usize),
+}
+
+/// A stand-in directory.
+pub(crate) struct Directory {
+    pub address: SocketAddr,
+    told: Arc<Mutex<DirectoryState>>,
+    asked: Arc<AtomicU64>,
+}
+
+impl Directory {
+    pub(crate) fn start(told: DirectoryState) -> Directory {
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
+        let address = socket.local_addr().expect("bound");
+        let told = Arc::new(Mutex::new(told));
+        let asked = Arc::new(AtomicU64::new(0));
+        let (now, count) = (told.clone(), asked.clone());
+        std::thread::spawn(move || {
+            let (mut bytes, mut kept) = ([0u8; 1024], VecDeque::new());
+            while let Ok((got, from)) = socket.recv_from(&mut bytes) {
+                let Ok(query) = Dns::from_vec(&bytes[..got]) else {
+                    continue;
+                };
+                let told = now.lock().expect("unpoisoned").clone();
+                let answer = list(query.metadata.id, &told);
+                if told.fault != Some(DirectoryFault::Silence) {
+                    kept.push_back((answer.to_vec().expect("written"), from));
+                }
+                let behind = if let Some(DirectoryFault::Behind(n)) = told.fault {
+                    n
+                } else {
+                    0
+                };
+                for (answer, from) in kept.drain(..kept.len().saturating_sub(behind)) {
+                    let _ = socket.send_to(&answer, from);
+                }
+                count.fetch_add(1, Ordering::AcqRel);
+            }
+        });
+        Directory {
+            address,
+            told,
+            asked,
+        }
+    }
+
+    pub(crate) fn update(&self, change: impl FnOnce(&mut DirectoryState)) {
+        change(&mut self.told.lock().expect("unpoisoned"));
+    }
+
+    pub(crate) fn query_count(&self) -> u64 {
+        self.asked.load(Ordering::Acquire)
+    }
+
+    /// Waits until it was asked so many times more.
+    pub(crate) fn wait_for_queries(&self, more: u64) {
+        let until = self.query_count() + more;
+        wait("the directory is asked", || self.query_count() >= until);
+    }
+}
+
+fn list(id: u16, told: &DirectoryState) -> Dns {
+    let name = |text: &str| Name::from_str(text).expect("a name");
+    let id = if told.fault == Some(DirectoryFault::OtherId) {
+        id.wrapping_add(1)
+    } else {
+        id
+    };
+    let mut message = Dns::new(id, MessageType::Response, OpCode::Query);
+    for line in &told.servers {
+        let host = name(&format!("{}.{}.hosts.", line.name, line.zone));
+        let IpAddr::V4(ip) = line.address.ip() else {
+            panic!("an IPv4 address")
+        };
+        let srv = SRV::new(line.priority, 10, line.address.port(), host.clone());
+        message.add_answer(Record::from_rdata(
+            name("_work._tcp.fleet.local."),
+            0,
+            RData::SRV(srv),
+        ));
+        message.add_additional(Record::from_rdata(host.clone(), 0, RData::A(A(ip))));
+        let text = vec![
+            format!("kind={}", line.kind),
+            "cell=0".to_owned(),
+            format!("started={}", line.started_ms),
+        ];
+        message.add_additional(Record::from_rdata(host, 0, RData::TXT(TXT::new(text))));
+    }
+    let soa = SOA::new(
+        name("ns.fleet.local."),
+        name("ops.fleet.local."),
+        told.serial,
+        1,
+        1,
+        1,
+        1,
+    );
+    message.add_authority(Record::from_rdata(name("fleet.local."), 0, RData::SOA(soa)));
+    message.metadata.truncation = told.fault == Some(DirectoryFault::Truncated);
+    if told.fault == Some(DirectoryFault::Failure) {
+        message.metadata.response_code = ResponseCode::ServFail;
+    }
+    message
+}
+
+pub(crate) fn listed_servers(servers: &[Server]) -> Vec<ListedServer> {
+    let line = |s: &Server| ListedServer {
+        name: s.name.clone(),
+        address: s.address,
+        zone: "east".into(),
+        kind: "std".into(),
+        priority: 0,
+        started_ms: 0,
+    };
+    servers.iter().map(line).collect()
+}
--- /dev/null
+++ b/crates/node/tests/support/gate.rs
@@ -0,0 +1,47 @@
+//! A gate at an event of the placement policy.
+use super::LONG;
+use crankpaddle::Event;
+use crankpaddle_front::EventObserver;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::Arc;
+
+/// Holds the node's one worker at an event that the module is about to hear, until the test lets it go on. Nothing of the node
+/// runs meanwhile, so whatever the test does then comes before whatever the node does next.
+pub(crate) struct Gate {
+    armed: Arc<AtomicBool>,
+    reached: Receiver<()>,
+    go: Sender<()>,
+}
+
+impl Gate {
+    /// A gate at events of this sort; closed once, when it is armed.
+    pub(crate) fn at(sort: impl Fn(&Event) -> bool + Send + 'static) -> (Gate, EventObserver) {
+        let armed = Arc::new(AtomicBool::new(false));
+        let (tell, reached) = channel();
+        let (go, wait) = channel();
+        let holds = armed.clone();
+        let tap: EventObserver = Box::new(move |_, event| {
+            if sort(event) && holds.swap(false, Ordering::AcqRel) {
+                let _ = tell.send(()); // The test may be over.
+                let _ = wait.recv_timeout(LONG);
+            }
+        });
+        (Gate { armed, reached, go }, tap)
+    }
+
+    pub(crate) fn arm(&self) {
+        self.armed.store(true, Ordering::Release);
+    }
+
+    /// Waits until the node stands at the gate.
+    pub(crate) fn wait_until_reached(&self) {
+        self.reached
+            .recv_timeout(LONG)
+            .expect("the node comes to the gate");
+    }
+
+    pub(crate) fn open(&self) {
+        self.go.send(()).expect("the node stands at the gate");
+    }
+}
--- /dev/null
+++ b/crates/node/tests/support/harness.rs
@@ -0,0 +1,127 @@
+//! A node among stand-ins of its platform.
+use super::{accepted, listed_servers, wait, wait_or, Directory, DirectoryState, Server, Viewer};
+use crankpaddle_front::EventObserver;
+use crankpaddle_node::Node;
+use crankpaddle_node_protocol::config::Config;
+use crankpaddle_node_protocol::rtsp::Message;
+use crankpaddle_node_protocol::Tag;
+use serde_json::{json, Value};
+use std::sync::Arc;
+
+/// A node among stand-ins. The first class is free, the second is paid.
+pub(crate) struct Harness {
+    pub node: Arc<Node>,
+    pub servers: Vec<Server>,
+    pub directory: Directory,
+    pub config: Value,
+}
+
+pub(crate) const FREE: &str = "preview";
+pub(crate) const PAID: &str = "licensed-view";
+
+pub(crate) fn settings(note_every: u64) -> Value {
+    let class = |name: &str, semantics: &str| json!({"name": name, "aim": 10_000_000_000u64, "deadline": 30_000_000_000u64, "semantics": semantics, "worth": 1.0});
+    json!({"index": 0, "siblings": 1, "az": 0, "azs": ["east"], "kinds": ["std"], "discovery": "push",
+        "services": [class(FREE, "free"), class(PAID, "single_shot")],
+        "family-info": {"cells": 1, "cabinets": 1, "class-top": [1, 1], "lowest-rung": [0, 0],
+            "rate-factor": [1.0, 1.0], "fleet-kb": 900_000.0, "kb-per-weight": 300_000.0, "level-kb": [200.0, 400.0],
+            "rung-worth": [0.3, 1.0], "places-by-kind": [1000], "uplink-kb": 900_000.0, "told-every": note_every},
+        "limits": {"attempts-cap": 4, "cancel": true, "connect-timeout": 250_000_000u64, "retry-after": true,
+            "max-retry-after": 1_000_000_000u64},
+        "rules": {"cold-share": 0.4, "cold": 1_000_000_000u64, "tip-multiple": 2.5, "fall": 1_000_000_000u64},
+        "telemetry": {"fields": ["x0"], "how": "answers"}})
+}
+
+/// A node's configuration, on a port of the system's.
+pub(crate) fn configuration(servers: &[Server], directory: &Directory) -> Value {
+    let instance = |s: &Server| {
+        json!({"instanceId": s.name, "hostPort": s.address.to_string(), "zone": "east", "machineType": "std",
+            "cell": 0, "lifecycle": "ready", "weight": 1, "startedAtMs": 0})
+    };
+    let instances: Vec<Value> = servers.iter().map(instance).collect();
+    json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "1",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "nameserver": directory.address.to_string(),
+        "known": {"seq": 1, "results": [{"seq": 1, "fleet": {"generation": 1, "reset": true,
+            "instances": instances}}]},
+        "settings": settings(0)})
+}
+
+impl Harness {
+    pub(crate) fn start(servers: u32) -> Harness {
+        Harness::start_with(servers, |_| {})
+    }
+
+    pub(crate) fn start_with(servers: u32, change: impl FnOnce(&mut Value)) -> Harness {
+        Harness::start_observed(servers, change, None)
+    }
+
+    /// The same, and shows what the decision module hears.
+    pub(crate) fn start_observed(
+        servers: u32,
+        change: impl FnOnce(&mut Value),
+        tap: Option<EventObserver>,
+    ) -> Harness {
+        let servers: Vec<Server> = (1..=servers).map(Server::start).collect();
+        let directory = Directory::start(DirectoryState {
+            serial: 1,
+            servers: listed_servers(&servers),
+            fault: None,
+        });
+        let mut config = configuration(&servers, &directory);
+        change(&mut config);
+        crankpaddle_net::start(Some(1));
+        let parsed = Config::parse(config.to_string().as_bytes()).expect("a sound configuration");
+        let node = Arc::new(Node::start_observed(parsed, tap).expect("it starts"));
+        Harness {
+            node,
+            servers,
+            directory,
+            config,
+        }
+    }
+
+    pub(crate) fn viewer(&self) -> Viewer {
+        Viewer::connect(self.node.address())
+    }
+
+    /// The set-up that some server hears next: which server, on which connection, and what.
+    pub(crate) fn next_set_up(&self) -> (&Server, usize, Message) {
+        let mut found = None;
+        wait_or(
+            || {
+                format!(
+                    "a set-up reaches a server; the node holds {:?}",
+                    self.node.counts()
+                )
+            },
+            || {
+                let first = |s: &'_ Server| s.try_take_request("SETUP");
+                found = self
+                    .servers
+                    .iter()
+                    .enumerate()
+                    .find_map(|(at, s)| Some((at, first(s)?)));
+                found.is_some()
+            },
+        );
+        let (at, (conn, message)) = found.expect("just found");
+        (&self.servers[at], conn, message)
+    }
+
+    /// A session that stands: its viewer's set-up, answered by the server that was asked.
+    pub(crate) fn establish(&self, viewer: &mut Viewer, tag: Tag, class: &str) -> (&Server, usize) {
+        viewer.start(tag, class, 15_000);
+        let (server, conn, message) = self.next_set_up();
+        assert_eq!(message.session, Some(tag));
+        server.send(conn, &accepted(tag, "described"));
+        assert_eq!(viewer.next_message()["verb"], "STARTED");
+        (server, conn)
+    }
+
+    pub(crate) fn wait_until_idle(&self) {
+        wait("nothing is held any more", || {
+            let counts = self.node.counts();
+            (counts.waiting, counts.playing, counts.entries) == (0, 0, 0)
+        });
+    }
+}
