--- a/crates/node/tests/events.rs
+++ b/crates/node/tests/events.rs
@@ -1,5 +1,4 @@
-//! What the decision module hears: from sockets the same, in the same order, as on the simulator's wire.
-#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
+//! The placement policy's events: from sockets the same, in the same order, as on the simulator's wire.
 mod support;
 use crankpaddle::{EndpointListKind, Event, LoadField, RequestId};
 use crankpaddle_node_protocol::rtsp;
@@ -10,9 +9,9 @@
 
 /// An event as text, without times, and with requests numbered in the order in which they are first named.
 #[derive(Default)]
-struct Plain(BTreeMap<RequestId, usize>);
+struct EventText(BTreeMap<RequestId, usize>);
 
-impl Plain {
+impl EventText {
     fn id(&mut self, request: RequestId) -> usize {
         let next = self.0.len();
         *self.0.entry(request).or_insert(next)
@@ -159,7 +158,7 @@
 
 /// Two frames for each event with a list: the list, and who is told of it.
 fn from_the_wire(story: &[(Vec<u8>, Vec<u8>)]) -> Vec<String> {
-    let (mut plain, mut out, mut lists) = (Plain::default(), Vec::new(), BTreeMap::new());
+    let (mut event_text, mut out, mut lists) = (EventText::default(), Vec::new(), BTreeMap::new());
     for (number, (record, tail)) in story.iter().enumerate() {
         let mut frame = (number as u32).to_le_bytes().to_vec();
         frame.extend(7u64.to_le_bytes());
@@ -185,7 +184,7 @@
             }
             Record::Spawn { .. } | Record::Stop { .. } => continue,
         };
-        out.extend(plain.text(&event));
+        out.extend(event_text.text(&event));
     }
     out
 }
@@ -207,39 +206,39 @@
 
 // ---- the same story over sockets ----
 
-struct Tapped {
+struct ObservedNode {
     events: Receiver<String>,
-    heard: Vec<String>,
+    seen: Vec<String>,
 }
 
-impl Tapped {
-    fn start(servers: u32) -> (Harness, Tapped) {
-        let (tell, events) = channel();
-        let mut plain = Plain::default();
-        let tap = move |_, event: &Event| {
-            if let Some(text) = plain.text(event) {
-                let _ = tell.send(text); // The test may be over.
+impl ObservedNode {
+    fn start(servers: u32) -> (Harness, ObservedNode) {
+        let (sender, events) = channel();
+        let mut event_text = EventText::default();
+        let observer = move |_, event: &Event| {
+            if let Some(text) = event_text.text(event) {
+                let _ = sender.send(text); // The test may be over.
             }
         };
-        let harness = Harness::start_observed(servers, |_| {}, Some(Box::new(tap)));
+        let harness = Harness::start_observed(servers, |_| {}, Some(Box::new(observer)));
         (
             harness,
-            Tapped {
+            ObservedNode {
                 events,
-                heard: Vec::new(),
+                seen: Vec::new(),
             },
         )
     }
 
-    /// Waits until the module has heard something that begins like this.
+    /// Waits until the policy has got an event whose text begins like this.
     fn until(&mut self, begins: &str) {
         loop {
             let text = self
                 .events
                 .recv_timeout(LONG)
-                .unwrap_or_else(|_| panic!("no {begins:?}: {:?}", self.heard));
+                .unwrap_or_else(|_| panic!("no {begins:?}: {:?}", self.seen));
             let found = text.starts_with(begins);
-            self.heard.push(text);
+            self.seen.push(text);
             if found {
                 return;
             }
@@ -247,16 +246,15 @@
     }
 }
 
-#[test]
-fn the_module_hears_the_same_from_sockets_as_from_the_simulator() {
-    let (harness, mut tapped) = Tapped::start(1);
+/// Plays the story over sockets.
+fn play_over_sockets(harness: &Harness, observed: &mut ObservedNode) {
     let mut viewer = harness.viewer();
     let server = &harness.servers[0];
     viewer.send_json(&set_up(tag(1), PAID, "-1", &format!(";at:{}", server.name)));
-    tapped.until("adopted");
+    observed.until("adopted");
     let link = server.wait_for_connection();
     server.send(link, &session_update(tag(1), "at_rung", 1.0));
-    tapped.until("note 0");
+    observed.until("note 0");
     // Comes again, is set up; the server tells of its link before it answers.
     let mut again = set_up(tag(2), FREE, "15000", ";again:1");
     again["opts"]["retry"] = serde_json::json!("1");
@@ -264,24 +262,24 @@
     let (_, conn, _) = harness.next_set_up();
     server.send(conn, &session_update(tag(2), "link_use", 0.25));
     server.send(conn, &accepted(tag(2), "x"));
-    tapped.until("note 1");
+    observed.until("note 1");
     server.send(conn, &session_update(tag(2), "served", 0.5));
-    tapped.until("note 1");
+    observed.until("note 1");
     server.send(conn, b"TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: 0000000000000002\r\nReason: cause=16\r\nX-State: x0:0.5;later:3\r\nContent-Length: 0\r\n\r\n");
-    tapped.until("ended 1");
+    observed.until("ended 1");
     // Paid, and refused as full with a report.
     viewer.start(tag(3), PAID, 15_000);
     let (_, conn, _) = harness.next_set_up();
     server.send(conn, &response(453, 1, tag(3), "X-State: x0:0.75\r\n", ""));
-    tapped.until("ended 2");
+    observed.until("ended 2");
     // Given up by its viewer.
     viewer.start(tag(4), PAID, 15_000);
     harness.next_set_up();
     viewer.finish(tag(4), 16);
-    tapped.until("ended 3");
+    observed.until("ended 3");
     // The adopted one is cut.
     server.send(link, &rtsp::release(tag(1), 41));
-    tapped.until("ended 0");
+    observed.until("ended 0");
     for priority in [1, 2] {
         harness.directory.update(|told| {
             told.serial += 1;
@@ -290,12 +288,15 @@
                 _ => told.servers.clear(),
             }
         });
-        tapped.until("Delta");
+        observed.until("Delta");
     }
+}
 
+/// The same story as the simulator records it.
+fn simulator_records() -> Vec<(Vec<u8>, Vec<u8>)> {
     let at = 1;
     let one = |record: Vec<u8>| vec![(record, Vec::new())];
-    let story = [
+    [
         list(0, &[entry(at, 1)]).to_vec(),
         one(adopted(70, 1, at)),
         one(notice(70, at, 2, 1.0)),
@@ -312,31 +313,38 @@
         one(result(70, at, true, 598, None)),
         list(1, &[entry(at, 2)]).to_vec(),
         list(1, &[entry(at, 0)]).to_vec(),
-    ];
-    let told = from_the_wire(&story.concat());
-    assert_eq!(tapped.heard, told);
+    ]
+    .concat()
+}
+
+#[test]
+fn the_policy_gets_the_same_events_from_sockets_as_from_the_simulator() {
+    let (harness, mut observed) = ObservedNode::start(1);
+    play_over_sockets(&harness, &mut observed);
+    let told = from_the_wire(&simulator_records());
+    assert_eq!(observed.seen, told);
     assert!(told[0].starts_with(&format!("{:?}", EndpointListKind::Cached)));
 }
 
 #[test]
 fn a_connection_that_breaks_while_its_server_lives_is_no_death() {
-    let (harness, mut tapped) = Tapped::start(1);
+    let (harness, mut observed) = ObservedNode::start(1);
     let mut viewer = harness.viewer();
     // Noise: who sends it is alive.
     viewer.start(tag(1), FREE, 15_000);
     let (server, conn, _) = harness.next_set_up();
     server.send(conn, b"\x00\x01");
-    tapped.until("ended 0 0 ServerId(1) ServerError closed false");
+    observed.until("ended 0 0 ServerId(1) ServerError closed false");
     // Cut off, while another connection stands.
-    let (harness, mut tapped) = Tapped::start(1);
+    let (harness, mut observed) = ObservedNode::start(1);
     let mut viewer = harness.viewer();
     viewer.start(tag(1), PAID, 15_000);
     let (server, first, _) = harness.next_set_up();
     viewer.start(tag(2), PAID, 15_000);
     let (_, second, _) = harness.next_set_up();
     server.close(first);
-    tapped.until("ended 0 0 ServerId(1) ServerError closed false");
+    observed.until("ended 0 0 ServerId(1) ServerError closed false");
     // The last one: for all one knows the process died.
     server.close(second);
-    tapped.until("ended 1 0 ServerId(1) Reset closed false");
+    observed.until("ended 1 0 ServerId(1) Reset closed false");
 }
--- a/crates/node/tests/rough.rs
+++ b/crates/node/tests/rough.rs
@@ -1,5 +1,4 @@
 //! Bad clients, bad servers and a bad directory, over sockets.
-#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 mod support;
 use serde_json::json;
 use std::time::Instant;
@@ -135,7 +134,7 @@
 }
 
 #[test]
-fn bad_clients_get_a_refusal_or_a_close_and_reach_no_server() {
+fn clients_that_send_no_message_are_closed_and_reach_no_server() {
     let harness = Harness::start(1);
     let mut long = set_up(tag(1), FREE, "900", "");
     long["blob"] = json!("y".repeat(20_000));
@@ -163,6 +162,16 @@
         client.try_send(&bytes);
         assert!(client.is_closed(), "{what}");
     }
+    assert!(
+        harness.servers[0].take_events().is_empty(),
+        "no server heard of them"
+    );
+    harness.wait_until_idle();
+}
+
+#[test]
+fn set_ups_that_cannot_be_read_are_rejected_and_reach_no_server() {
+    let harness = Harness::start(1);
     for (what, asked) in [
         ("no such class", set_up(tag(2), "gold", "900", "")),
         ("a negative time", set_up(tag(2), FREE, "-900", "")),
--- a/crates/node/tests/support/directory.rs
+++ b/crates/node/tests/support/directory.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
-/// One line of the directory: id, address, zone, kind, priority, start.
+/// A server as the directory lists it.
 #[derive(Clone, Debug)]
 pub(crate) struct ListedServer {
     pub name: String,
@@ -20,55 +20,57 @@
     pub started_ms: u64,
 }
 
+/// What the directory responds with.
 #[derive(Clone, Debug)]
 pub(crate) struct DirectoryState {
     pub serial: u32,
     pub servers: Vec<ListedServer>,
-    /// Answers with a failure, a cut, an older list or nothing instead.
+    /// Responds with a failure, a truncated message, under another id or not at all instead.
     pub fault: Option<DirectoryFault>,
 }
 
+/// How the directory's responses are wrong.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum DirectoryFault {
     Failure,
     Truncated,
     OtherId,
     Silence,
-    /// Each answer comes when so many further questions have been asked.
+    /// Each response is sent when so many further queries have been received.
     Behind(usize),
 }
 
 /// A stand-in directory.
 pub(crate) struct Directory {
     pub address: SocketAddr,
-    told: Arc<Mutex<DirectoryState>>,
-    asked: Arc<AtomicU64>,
+    state: Arc<Mutex<DirectoryState>>,
+    queries: Arc<AtomicU64>,
 }
 
 impl Directory {
-    pub(crate) fn start(told: DirectoryState) -> Directory {
+    pub(crate) fn start(state: DirectoryState) -> Directory {
         let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
         let address = socket.local_addr().expect("bound");
-        let told = Arc::new(Mutex::new(told));
-        let asked = Arc::new(AtomicU64::new(0));
-        let (now, count) = (told.clone(), asked.clone());
+        let state = Arc::new(Mutex::new(state));
+        let queries = Arc::new(AtomicU64::new(0));
+        let (now, count) = (state.clone(), queries.clone());
         std::thread::spawn(move || {
-            let (mut bytes, mut kept) = ([0u8; 1024], VecDeque::new());
+            let (mut bytes, mut delayed) = ([0u8; 1024], VecDeque::new());
             while let Ok((got, from)) = socket.recv_from(&mut bytes) {
                 let Ok(query) = Dns::from_vec(&bytes[..got]) else {
                     continue;
                 };
-                let told = now.lock().expect("unpoisoned").clone();
-                let answer = list(query.metadata.id, &told);
-                if told.fault != Some(DirectoryFault::Silence) {
-                    kept.push_back((answer.to_vec().expect("written"), from));
+                let state = now.lock().expect("unpoisoned").clone();
+                let answer = response(query.metadata.id, &state);
+                if state.fault != Some(DirectoryFault::Silence) {
+                    delayed.push_back((answer.to_vec().expect("written"), from));
                 }
-                let behind = if let Some(DirectoryFault::Behind(n)) = told.fault {
+                let behind = if let Some(DirectoryFault::Behind(n)) = state.fault {
                     n
                 } else {
                     0
                 };
-                for (answer, from) in kept.drain(..kept.len().saturating_sub(behind)) {
+                for (answer, from) in delayed.drain(..delayed.len().saturating_sub(behind)) {
                     let _ = socket.send_to(&answer, from);
                 }
                 count.fetch_add(1, Ordering::AcqRel);
@@ -76,35 +78,35 @@
         });
         Directory {
             address,
-            told,
-            asked,
+            state,
+            queries,
         }
     }
 
     pub(crate) fn update(&self, change: impl FnOnce(&mut DirectoryState)) {
-        change(&mut self.told.lock().expect("unpoisoned"));
+        change(&mut self.state.lock().expect("unpoisoned"));
     }
 
     pub(crate) fn query_count(&self) -> u64 {
-        self.asked.load(Ordering::Acquire)
+        self.queries.load(Ordering::Acquire)
     }
 
-    /// Waits until it was asked so many times more.
+    /// Waits until it received so many queries more.
     pub(crate) fn wait_for_queries(&self, more: u64) {
-        let until = self.query_count() + more;
-        wait("the directory is asked", || self.query_count() >= until);
+        let wanted = self.query_count() + more;
+        wait("the directory is asked", || self.query_count() >= wanted);
     }
 }
 
-fn list(id: u16, told: &DirectoryState) -> Dns {
+fn response(id: u16, state: &DirectoryState) -> Dns {
     let name = |text: &str| Name::from_str(text).expect("a name");
-    let id = if told.fault == Some(DirectoryFault::OtherId) {
+    let id = if state.fault == Some(DirectoryFault::OtherId) {
         id.wrapping_add(1)
     } else {
         id
     };
     let mut message = Dns::new(id, MessageType::Response, OpCode::Query);
-    for line in &told.servers {
+    for line in &state.servers {
         let host = name(&format!("{}.{}.hosts.", line.name, line.zone));
         let IpAddr::V4(ip) = line.address.ip() else {
             panic!("an IPv4 address")
@@ -126,15 +128,15 @@
     let soa = SOA::new(
         name("ns.fleet.local."),
         name("ops.fleet.local."),
-        told.serial,
+        state.serial,
         1,
         1,
         1,
         1,
     );
     message.add_authority(Record::from_rdata(name("fleet.local."), 0, RData::SOA(soa)));
-    message.metadata.truncation = told.fault == Some(DirectoryFault::Truncated);
-    if told.fault == Some(DirectoryFault::Failure) {
+    message.metadata.truncation = state.fault == Some(DirectoryFault::Truncated);
+    if state.fault == Some(DirectoryFault::Failure) {
         message.metadata.response_code = ResponseCode::ServFail;
     }
     message
--- a/crates/node/tests/support/gate.rs
+++ b/crates/node/tests/support/gate.rs
@@ -6,7 +6,7 @@
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::Arc;
 
-/// Holds the node's one worker at an event that the module is about to hear, until the test lets it go on. Nothing of the node
+/// Stops the node's one worker at an event that the placement policy is about to get, until the test lets it go on. Nothing of the node
 /// runs meanwhile, so whatever the test does then comes before whatever the node does next.
 pub(crate) struct Gate {
     armed: Arc<AtomicBool>,
@@ -16,18 +16,18 @@
 
 impl Gate {
     /// A gate at events of this sort; closed once, when it is armed.
-    pub(crate) fn at(sort: impl Fn(&Event) -> bool + Send + 'static) -> (Gate, EventObserver) {
+    pub(crate) fn at(stops_at: impl Fn(&Event) -> bool + Send + 'static) -> (Gate, EventObserver) {
         let armed = Arc::new(AtomicBool::new(false));
-        let (tell, reached) = channel();
+        let (sender, reached) = channel();
         let (go, wait) = channel();
-        let holds = armed.clone();
-        let tap: EventObserver = Box::new(move |_, event| {
-            if sort(event) && holds.swap(false, Ordering::AcqRel) {
-                let _ = tell.send(()); // The test may be over.
+        let is_armed = armed.clone();
+        let observer: EventObserver = Box::new(move |_, event| {
+            if stops_at(event) && is_armed.swap(false, Ordering::AcqRel) {
+                let _ = sender.send(()); // The test may be over.
                 let _ = wait.recv_timeout(LONG);
             }
         });
-        (Gate { armed, reached, go }, tap)
+        (Gate { armed, reached, go }, observer)
     }
 
     pub(crate) fn arm(&self) {
--- a/crates/node/tests/support/harness.rs
+++ b/crates/node/tests/support/harness.rs
@@ -55,11 +55,11 @@
         Harness::start_observed(servers, change, None)
     }
 
-    /// The same, and shows what the decision module hears.
+    /// The same, and shows the placement policy's events to `observer`.
     pub(crate) fn start_observed(
         servers: u32,
         change: impl FnOnce(&mut Value),
-        tap: Option<EventObserver>,
+        observer: Option<EventObserver>,
     ) -> Harness {
         let servers: Vec<Server> = (1..=servers).map(Server::start).collect();
         let directory = Directory::start(DirectoryState {
@@ -71,7 +71,7 @@
         change(&mut config);
         crankpaddle_net::start(Some(1));
         let parsed = Config::parse(config.to_string().as_bytes()).expect("a sound configuration");
-        let node = Arc::new(Node::start_observed(parsed, tap).expect("it starts"));
+        let node = Arc::new(Node::start_observed(parsed, observer).expect("it starts"));
         Harness {
             node,
             servers,
@@ -84,7 +84,7 @@
         Viewer::connect(self.node.address())
     }
 
-    /// The set-up that some server hears next: which server, on which connection, and what.
+    /// The set-up that some server receives next: which server, on which connection, and the message.
     pub(crate) fn next_set_up(&self) -> (&Server, usize, Message) {
         let mut found = None;
         wait_or(
@@ -108,7 +108,7 @@
         (&self.servers[at], conn, message)
     }
 
-    /// A session that stands: its viewer's set-up, answered by the server that was asked.
+    /// Establishes a session: its viewer's set-up, accepted by the server that receives it.
     pub(crate) fn establish(&self, viewer: &mut Viewer, tag: Tag, class: &str) -> (&Server, usize) {
         viewer.start(tag, class, 15_000);
         let (server, conn, message) = self.next_set_up();
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -14,7 +14,7 @@
 pub(crate) use gate::Gate;
 pub(crate) use harness::{configuration, settings, Harness, FREE, PAID};
 pub(crate) use messages::{accepted, response, session_of, session_update, set_up, tag};
-pub(crate) use server::{Server, ServerEvent};
+pub(crate) use server::{is_request, receive_messages, Server, ServerEvent};
 pub(crate) use viewer::Viewer;
 
 use std::time::{Duration, Instant};
--- a/crates/node/tests/support/server.rs
+++ b/crates/node/tests/support/server.rs
@@ -8,9 +8,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// What a server heard, on its connection of this number.
+/// What happened at a server, on its connection of this number.
 #[derive(Debug)]
 pub(crate) enum ServerEvent {
     Opened(usize),
@@ -22,16 +22,19 @@
 pub(crate) struct Server {
     pub name: String,
     pub address: SocketAddr,
-    conns: Arc<Mutex<Vec<TcpStream>>>,
-    heard: Receiver<ServerEvent>,
-    held: RefCell<VecDeque<ServerEvent>>, // ServerEvent, and not asked for yet.
-    deaf: Arc<AtomicBool>,
-    vanished: Arc<AtomicBool>,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
+    events: Receiver<ServerEvent>,
+    /// Events that no test has taken yet.
+    untaken: RefCell<VecDeque<ServerEvent>>,
+    state: Arc<ListenerState>,
     listener: std::thread::Thread,
 }
 
-fn listen(address: SocketAddr) -> TcpListener {
-    TcpListener::bind(address).expect("a port")
+/// What the listening thread is to do.
+#[derive(Default)]
+struct ListenerState {
+    is_stopped: AtomicBool,
+    has_vanished: AtomicBool,
 }
 
 impl Server {
@@ -40,66 +43,41 @@
     }
 
     pub(crate) fn start_at(number: u32, address: SocketAddr) -> Server {
-        let listener = listen(address);
+        let listener = TcpListener::bind(address).expect("a port");
         let address = listener.local_addr().expect("bound");
-        let (tell, heard) = channel();
-        let conns: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
-        let deaf = Arc::new(AtomicBool::new(false));
-        let vanished = Arc::new(AtomicBool::new(false));
-        let (all, ends, lost) = (conns.clone(), deaf.clone(), vanished.clone());
-        let accepts = std::thread::spawn(move || {
-            for stream in listener.incoming() {
-                if ends.load(Ordering::Acquire) {
-                    return; // The listener closes with this.
-                }
-                while lost.load(Ordering::Acquire) {
-                    std::thread::park(); // It stays open, and nobody accepts.
-                }
-                let Ok(stream) = stream else { return };
-                let _ = stream.set_nodelay(true); // Only slower without it.
-                let copy = stream.try_clone().expect("a descriptor");
-                let number = {
-                    let mut all = all.lock().expect("unpoisoned");
-                    all.push(copy);
-                    all.len() - 1
-                };
-                if tell.send(ServerEvent::Opened(number)).is_err() {
-                    return;
-                }
-                let tell = tell.clone();
-                std::thread::spawn(move || hear(stream, number, &tell));
-            }
-        });
-        let listener = accepts.thread().clone();
+        let (sender, events) = channel();
+        let connections: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+        let state = Arc::new(ListenerState::default());
+        let (accepted, until) = (connections.clone(), state.clone());
+        let thread = std::thread::spawn(move || accept(&listener, &accepted, &until, &sender));
         Server {
             name: format!("s-{number:08x}"),
             address,
-            conns,
-            heard,
-            held: RefCell::default(),
-            deaf,
-            vanished,
-            listener,
+            connections,
+            events,
+            untaken: RefCell::default(),
+            state,
+            listener: thread.thread().clone(),
         }
     }
 
-    /// The first thing heard, and not taken yet, of which `wanted` makes something; the others stay.
+    /// The first event, not taken yet, of which `wanted` makes something; the others stay.
     fn take_event<T>(&self, wanted: impl Fn(&ServerEvent) -> Option<T>) -> Option<T> {
-        let mut held = self.held.borrow_mut();
-        held.extend(self.heard.try_iter());
-        let (at, found) = held
+        let mut untaken = self.untaken.borrow_mut();
+        untaken.extend(self.events.try_iter());
+        let (position, found) = untaken
             .iter()
             .enumerate()
-            .find_map(|(at, heard)| Some((at, wanted(heard)?)))?;
-        held.remove(at);
+            .find_map(|(position, event)| Some((position, wanted(event)?)))?;
+        untaken.remove(position);
         Some(found)
     }
 
-    /// What was said first with this method, if anything was.
+    /// The first request with this method, if one was received.
     pub(crate) fn try_take_request(&self, method: &str) -> Option<(usize, Message)> {
-        self.take_event(|heard| match heard {
-            ServerEvent::Received(conn, message) if matches!(&message.kind, Kind::Request(m, _) if m == method) => {
-                Some((*conn, message.clone()))
+        self.take_event(|event| match event {
+            ServerEvent::Received(connection, message) if is_request(message, method) => {
+                Some((*connection, message.clone()))
             }
             _ => None,
         })
@@ -107,21 +85,19 @@
 
     /// Waits until a connection was opened that was not waited for yet; its number.
     pub(crate) fn wait_for_connection(&self) -> usize {
+        let opened = |event: &ServerEvent| match event {
+            ServerEvent::Opened(connection) => Some(*connection),
+            ServerEvent::Received(..) | ServerEvent::Closed(_) => None,
+        };
         let mut found = None;
         wait("the node connects", || {
-            found = self.take_event(|heard| {
-                if let ServerEvent::Opened(conn) = heard {
-                    Some(*conn)
-                } else {
-                    None
-                }
-            });
+            found = self.take_event(opened);
             found.is_some()
         });
         found.unwrap_or_default()
     }
 
-    /// What was said first with this method, and on which connection.
+    /// Waits for the first request with this method, and on which connection.
     pub(crate) fn wait_for_request(&self, method: &str) -> (usize, Message) {
         let mut found = None;
         wait(method, || {
@@ -131,73 +107,115 @@
         found.expect("just found")
     }
 
-    /// Everything heard and not taken until now, without waiting.
+    /// All events that were not taken until now, without waiting.
     pub(crate) fn take_events(&self) -> Vec<ServerEvent> {
-        let mut held = self.held.borrow_mut();
-        held.extend(self.heard.try_iter());
-        held.drain(..).collect()
+        let mut untaken = self.untaken.borrow_mut();
+        untaken.extend(self.events.try_iter());
+        untaken.drain(..).collect()
     }
 
-    pub(crate) fn send(&self, conn: usize, bytes: &[u8]) {
-        let mut stream = &self.conns.lock().expect("unpoisoned")[conn];
+    pub(crate) fn send(&self, connection: usize, bytes: &[u8]) {
+        let mut stream = &self.connections.lock().expect("unpoisoned")[connection];
         stream.write_all(bytes).expect("the node reads");
     }
 
-    pub(crate) fn try_send(&self, conn: usize, bytes: &[u8]) -> bool {
-        let mut stream = &self.conns.lock().expect("unpoisoned")[conn];
+    pub(crate) fn try_send(&self, connection: usize, bytes: &[u8]) -> bool {
+        let mut stream = &self.connections.lock().expect("unpoisoned")[connection];
         stream.write_all(bytes).is_ok()
     }
 
-    pub(crate) fn close(&self, conn: usize) {
-        let _ = self.conns.lock().expect("unpoisoned")[conn].shutdown(Shutdown::Both);
+    pub(crate) fn close(&self, connection: usize) {
+        let connections = self.connections.lock().expect("unpoisoned");
+        let _ = connections[connection].shutdown(Shutdown::Both);
     }
 
     /// The machine vanishes: what is open stays open and silent, and no new connection comes up. The connections that fill
     /// the listener's queue must be kept for as long.
     pub(crate) fn vanish(&self) -> Vec<TcpStream> {
-        self.vanished.store(true, Ordering::Release);
-        let _ = TcpStream::connect(self.address); // Wakes the listener, which takes nothing more.
+        self.state.has_vanished.store(true, Ordering::Release);
+        self.wake_listener(); // It takes nothing more.
         let short = Duration::from_millis(100);
         std::iter::from_fn(|| TcpStream::connect_timeout(&self.address, short).ok()).collect()
     }
 
     /// A machine that vanished accepts connections again.
     pub(crate) fn resume_accepting(&self) {
-        self.vanished.store(false, Ordering::Release);
+        self.state.has_vanished.store(false, Ordering::Release);
         self.listener.unpark();
     }
 
     /// A machine that vanished is gone for good; another may listen at its address.
     pub(crate) fn shut_down(&self) {
-        self.deaf.store(true, Ordering::Release);
+        self.state.is_stopped.store(true, Ordering::Release);
         self.resume_accepting();
     }
 
-    /// Whether any set-up was heard that was not taken.
+    /// Whether any set-up was received that was not taken.
     pub(crate) fn has_received_set_up(&self) -> bool {
         self.try_take_request("SETUP").is_some()
     }
 
     /// The process dies: nobody listens any more and connections end.
     pub(crate) fn kill(&self) {
-        self.deaf.store(true, Ordering::Release);
-        let _ = TcpStream::connect(self.address); // Wakes the listener, which ends.
-        for conn in self.conns.lock().expect("unpoisoned").iter() {
-            let _ = conn.shutdown(Shutdown::Both);
+        self.state.is_stopped.store(true, Ordering::Release);
+        self.wake_listener(); // It ends.
+        for connection in self.connections.lock().expect("unpoisoned").iter() {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn wake_listener(&self) {
+        let _ = TcpStream::connect(self.address);
+    }
+}
+
+pub(crate) fn is_request(message: &Message, method: &str) -> bool {
+    matches!(&message.kind, Kind::Request(other, _) if other == method)
+}
+
+fn accept(
+    listener: &TcpListener,
+    connections: &Mutex<Vec<TcpStream>>,
+    state: &ListenerState,
+    events: &Sender<ServerEvent>,
+) {
+    for stream in listener.incoming() {
+        if state.is_stopped.load(Ordering::Acquire) {
+            return; // The listener closes with this.
+        }
+        while state.has_vanished.load(Ordering::Acquire) {
+            std::thread::park(); // It stays open, and nobody accepts.
         }
+        let Ok(stream) = stream else { return };
+        let _ = stream.set_nodelay(true); // Only slower without it.
+        let number = {
+            let mut connections = connections.lock().expect("unpoisoned");
+            connections.push(stream.try_clone().expect("a descriptor"));
+            connections.len() - 1
+        };
+        if events.send(ServerEvent::Opened(number)).is_err() {
+            return;
+        }
+        let events = events.clone();
+        std::thread::spawn(move || {
+            receive_messages(stream, |message, _| {
+                let _ = events.send(ServerEvent::Received(number, message));
+            });
+            let _ = events.send(ServerEvent::Closed(number)); // The test may be over.
+        });
     }
 }
 
-fn hear(mut stream: TcpStream, number: usize, tell: &Sender<ServerEvent>) {
+/// Hands each message of a connection to `handle`, with the time at which it was read, until the connection ends.
+pub(crate) fn receive_messages(mut stream: TcpStream, mut handle: impl FnMut(Message, Instant)) {
     let (mut decoder, mut messages, mut piece) = (Decoder::default(), Vec::new(), [0u8; 4096]);
-    loop {
-        let got = stream.read(&mut piece).unwrap_or(0);
-        if got == 0 || decoder.feed(&piece[..got], &mut messages).is_err() {
-            let _ = tell.send(ServerEvent::Closed(number)); // The test may be over.
+    while let Ok(length @ 1..) = stream.read(&mut piece) {
+        let received_at = Instant::now();
+        if decoder.feed(&piece[..length], &mut messages).is_err() {
             return;
         }
         for message in messages.drain(..) {
-            let _ = tell.send(ServerEvent::Received(number, message));
+            handle(message, received_at);
         }
     }
 }
--- a/crates/node/tests/support/viewer.rs
+++ b/crates/node/tests/support/viewer.rs
@@ -49,7 +49,7 @@
             .expect("an option");
     }
 
-    /// The next line.
+    /// The next message.
     pub(crate) fn next_message(&mut self) -> Value {
         let mut line = String::new();
         let got = self
@@ -60,7 +60,7 @@
         serde_json::from_str(&line).unwrap_or_else(|e| panic!("{line:?}: {e}"))
     }
 
-    /// Whether the connection ended without a further word.
+    /// Whether the connection ended without a further message.
     pub(crate) fn is_closed(&mut self) -> bool {
         let mut line = Vec::new();
         match self.reader.read_until(b'\n', &mut line) {
@@ -69,7 +69,7 @@
         }
     }
 
-    /// A test answered: all said before on this connection was heard.
+    /// Waits for the answer to a test: all sent before on this connection was handled.
     pub(crate) fn echo(&mut self) -> Value {
         self.send_json(&json!({"verb": "ECHO", "tag": "00000000000000ff", "opts": {}, "rc": 0}));
         self.next_message()
