--- a/crates/node-protocol/src/viewers/mod.rs
+++ b/crates/node-protocol/src/viewers/mod.rs
@@ -8,7 +8,7 @@
 
 pub use decode::{DecodeError, Decoder};
 pub use encode::{echoed, finish, finished, moved, started};
-pub use set_up_params::SetUpParams;
+pub use set_up_params::{InvalidField, SetUpParams};
 
 /// Causes of a release that the protocol names.
 pub mod cause {
--- a/crates/node-protocol/src/viewers/set_up_params.rs
+++ b/crates/node-protocol/src/viewers/set_up_params.rs
@@ -1,12 +1,18 @@
 //! The figures of a set-up.
 use super::SetUp;
 use crate::Tag;
+use thiserror::Error;
 
 /// The largest hint of a duration, milliseconds.
 const MAX_DURATION_HINT: f64 = 1e12;
 /// Cells and rungs are numbered below this.
 const SMALL_LIMIT: u32 = 65_536;
 
+/// The name of a field that is missing or out of range.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+#[error("field {0} is missing or out of range")]
+pub struct InvalidField(pub &'static str);
+
 /// What a set-up requests, in numbers; the names are looked up where the settings are known. The fields' names on the wire are the
 /// protocol's: `left`, `retry`, `key`, `hint`, and in `extras` `home`, `copies`, `top`, `again`, `moved`, `at`.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -43,25 +49,25 @@
     /// The figures of a set-up.
     ///
     /// # Errors
-    /// A field is missing or out of range: its name.
-    pub fn set_up_params(&self) -> Result<SetUpParams, &'static str> {
+    /// A field is missing or out of range.
+    pub fn set_up_params(&self) -> Result<SetUpParams, InvalidField> {
         let opt = |name| self.opts.get(name).map(String::as_str);
         let mut params = SetUpParams {
-            class: opt("class").ok_or("class")?.to_owned(),
+            class: opt("class").ok_or(InvalidField("class"))?.to_owned(),
             tenant: opt("tenant").map(str::to_owned),
-            is_retry: flag(opt("retry")).ok_or("retry")?,
+            is_retry: flag(opt("retry")).ok_or(InvalidField("retry"))?,
             ..SetUpParams::default()
         };
         if let Some(hint) = opt("hint") {
-            params.duration_hint_ms = Some(duration_hint(hint).ok_or("hint")?);
+            params.duration_hint_ms = Some(duration_hint(hint).ok_or(InvalidField("hint"))?);
         }
-        let key = opt("key").ok_or("key")?;
-        params.title = hex(key).ok_or("key")?;
+        let key = opt("key").ok_or(InvalidField("key"))?;
+        params.title = hex(key).ok_or(InvalidField("key"))?;
         key.clone_into(&mut params.title_text);
-        params.read_extras(opt("extras").ok_or("extras")?)?;
+        params.read_extras(opt("extras").ok_or(InvalidField("extras"))?)?;
         params.max_wait_ms = params.max_wait(opt("left"))?;
         if params.current_server.is_none() && self.blob.is_none() {
-            return Err("blob");
+            return Err(InvalidField("blob"));
         }
         Ok(params)
     }
@@ -69,33 +75,33 @@
 
 impl SetUpParams {
     /// Reads the fields that come in one text, `name:value;name:value`. Four of them must stand there.
-    fn read_extras(&mut self, extras: &str) -> Result<(), &'static str> {
+    fn read_extras(&mut self, extras: &str) -> Result<(), InvalidField> {
         let mut required = 0;
         for part in extras.split(';').filter(|part| !part.is_empty()) {
-            let (name, value) = part.split_once(':').ok_or("extras")?;
+            let (name, value) = part.split_once(':').ok_or(InvalidField("extras"))?;
             self.read_extra(name, value)?;
             required += u32::from(matches!(name, "home" | "copies" | "top" | "viewer"));
         }
         if required != 4 {
-            return Err("extras");
+            return Err(InvalidField("extras"));
         }
         Ok(())
     }
 
-    fn read_extra(&mut self, name: &str, value: &str) -> Result<(), &'static str> {
+    fn read_extra(&mut self, name: &str, value: &str) -> Result<(), InvalidField> {
         match name {
-            "home" => self.first_cell = small_number(value).ok_or("home")?,
+            "home" => self.first_cell = small_number(value).ok_or(InvalidField("home"))?,
             "copies" => {
                 let copies = small_number(value).filter(|copies| *copies > 0);
-                self.cell_count = copies.ok_or("copies")?;
+                self.cell_count = copies.ok_or(InvalidField("copies"))?;
             }
             "top" => {
                 let top = small_number(value).and_then(|top| u8::try_from(top).ok());
-                self.max_rung = top.ok_or("top")?;
+                self.max_rung = top.ok_or(InvalidField("top"))?;
             }
-            "viewer" => self.viewer = hex(value).ok_or("viewer")?,
-            "again" => self.is_retry |= flag(Some(value)).ok_or("again")?,
-            "moved" => self.is_migration = flag(Some(value)).ok_or("moved")?,
+            "viewer" => self.viewer = hex(value).ok_or(InvalidField("viewer"))?,
+            "again" => self.is_retry |= flag(Some(value)).ok_or(InvalidField("again"))?,
+            "moved" => self.is_migration = flag(Some(value)).ok_or(InvalidField("moved"))?,
             "at" => self.current_server = Some(value.to_owned()),
             _ => {} // Fields may be added.
         }
@@ -103,12 +109,12 @@
     }
 
     /// How long the viewer waits. Nobody waits for a session that plays already: what the field holds there means nothing.
-    fn max_wait(&self, left: Option<&str>) -> Result<u64, &'static str> {
+    fn max_wait(&self, left: Option<&str>) -> Result<u64, InvalidField> {
         let left = left.and_then(decimal).filter(|left| *left > 0);
         if self.current_server.is_some() {
             return Ok(left.unwrap_or(0));
         }
-        left.ok_or("left")
+        left.ok_or(InvalidField("left"))
     }
 }
 
--- a/crates/node-protocol/tests/codecs.rs
+++ b/crates/node-protocol/tests/codecs.rs
@@ -1,6 +1,6 @@
-//! The stream codecs: whole messages, byte by byte, garbage, and lengths that lie.
+//! The stream codecs: complete messages, byte by byte, garbage, and false lengths.
 use crankpaddle_node_protocol::rtsp::{self, Kind};
-use crankpaddle_node_protocol::viewers::{self, Message};
+use crankpaddle_node_protocol::viewers::{self, InvalidField, Message};
 use crankpaddle_node_protocol::{Tag, MAX_MESSAGE_BYTES};
 use proptest::prelude::*;
 
@@ -31,8 +31,8 @@
 /// The messages, and whether the stream broke.
 fn decode_viewers(bytes: &[u8], pieces: &[usize]) -> (Vec<Message>, Option<viewers::DecodeError>) {
     let (mut decoder, mut out) = (viewers::Decoder::default(), Vec::new());
-    let fault = cut(bytes, pieces, |piece| decoder.feed(piece, &mut out));
-    (out, fault)
+    let error = cut(bytes, pieces, |piece| decoder.feed(piece, &mut out));
+    (out, error)
 }
 
 fn decode_servers(
@@ -40,8 +40,8 @@
     pieces: &[usize],
 ) -> (Vec<rtsp::Message>, Option<rtsp::DecodeError>) {
     let (mut decoder, mut out) = (rtsp::Decoder::default(), Vec::new());
-    let fault = cut(bytes, pieces, |piece| decoder.feed(piece, &mut out));
-    (out, fault)
+    let error = cut(bytes, pieces, |piece| decoder.feed(piece, &mut out));
+    (out, error)
 }
 
 fn start(n: u64, extras: &str, left: &str, blob: &str) -> Vec<u8> {
@@ -52,7 +52,7 @@
 
 const EXTRAS: &str = "home:4;copies:3;top:4;viewer:00000000b4d65521";
 
-fn ask(extras: &str, left: &str) -> Result<viewers::SetUpParams, &'static str> {
+fn ask(extras: &str, left: &str) -> Result<viewers::SetUpParams, InvalidField> {
     let (messages, fault) = decode_viewers(&start(1, extras, left, "x"), &[MAX_MESSAGE_BYTES]);
     assert_eq!(fault, None);
     match messages.as_slice() {
@@ -127,7 +127,11 @@
         ("home:4;copies:3;top:4", "9", "extras"),
         ("nonsense", "9", "extras"),
     ] {
-        assert_eq!(ask(extras, left), Err(field), "{extras} {left}");
+        assert_eq!(
+            ask(extras, left),
+            Err(InvalidField(field)),
+            "{extras} {left}"
+        );
     }
 }
 
--- a/crates/node-protocol/tests/config.rs
+++ b/crates/node-protocol/tests/config.rs
@@ -1,9 +1,9 @@
-//! The configuration: what is known at the start, and faults said in one line.
+//! The configuration: the list at the start, and errors in one line.
 use crankpaddle_node_protocol::config::Config;
 use crankpaddle_node_protocol::directory::State;
 use serde_json::{json, Value};
 
-fn whole() -> Value {
+fn complete() -> Value {
     let instance = |id: &str, state: &str| {
         json!({"instanceId": id, "hostPort": "127.0.0.9:3868", "zone": "east", "machineType": "std", "cell": 2,
             "lifecycle": state, "weight": 4, "startedAtMs": 0})
@@ -27,7 +27,7 @@
 
 #[test]
 fn the_known_events_make_the_list_of_the_start() {
-    let config = Config::parse(whole().to_string().as_bytes()).expect("sound");
+    let config = Config::parse(complete().to_string().as_bytes()).expect("sound");
     assert_eq!(
         (config.name.as_str(), config.seed),
         ("n3", 0x8c1f_30d2_7a5b_e964)
@@ -56,7 +56,7 @@
 #[test]
 fn errors_are_reported_in_one_line() {
     let without = |path: &[&str]| {
-        let mut value = whole();
+        let mut value = complete();
         let (last, place) = path.split_last().expect("a path");
         let inner = place.iter().fold(&mut value, |v, key| &mut v[*key]);
         inner.as_object_mut().expect("an object").remove(*last);
@@ -74,7 +74,7 @@
             .to_string();
         assert!(error.contains(what) && !error.contains('\n'), "{error}");
     }
-    let mut value = whole();
+    let mut value = complete();
     value["seed"] = json!("not hex");
     assert!(Config::parse(value.to_string().as_bytes())
         .expect_err("bad")
--- a/crates/node-protocol/tests/directory.rs
+++ b/crates/node-protocol/tests/directory.rs
@@ -1,4 +1,4 @@
-//! The directory's answers, made here with the same DNS library that other programs use, and spoilt by hand.
+//! The directory's responses, made here with the same DNS library that other programs use, and corrupted by hand.
 use crankpaddle_node_protocol::directory::{parse_response, query, ResponseError, State};
 use hickory_proto::op::{Message, MessageType, OpCode, ResponseCode};
 use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
--- a/crates/node/src/event_loop/client_requests.rs
+++ b/crates/node/src/event_loop/client_requests.rs
@@ -4,7 +4,7 @@
 use crate::shared::increment;
 use crankpaddle_front::{Call, Input, OpenRequest, PlayerId, Time};
 use crankpaddle_net::clock;
-use crankpaddle_node_protocol::viewers::{self, cause, Message, SetUpParams};
+use crankpaddle_node_protocol::viewers::{self, cause, InvalidField, Message, SetUpParams};
 use crankpaddle_node_protocol::Tag;
 use std::sync::atomic::Ordering;
 
@@ -43,7 +43,7 @@
         }
         let request = match request {
             Ok(request) => request,
-            Err(field) => return self.reject_invalid(connection, set_up, field),
+            Err(error) => return self.reject_invalid(connection, set_up, error),
         };
         if request.params.current_server.is_some() {
             self.adopt_session(set_up.tag, request);
@@ -66,9 +66,9 @@
         &mut self,
         connection: ConnectionId,
         set_up: &viewers::SetUp,
-        field: &'static str,
+        error: InvalidField,
     ) {
-        tracing::debug!(session_id = %set_up.tag, field, opts = ?set_up.opts, "invalid set-up");
+        tracing::debug!(session_id = %set_up.tag, field = error.0, opts = ?set_up.opts, "invalid set-up");
         increment(&self.shared.drop_counters.out_of_range);
         self.send_to_viewer(
             connection,
@@ -148,40 +148,40 @@
         player
     }
 
-    /// Reads a set-up's fields and looks their names up; the error is the field that is missing or out of range.
-    fn read_set_up(&self, set_up: &viewers::SetUp) -> Result<SetUpRequest, &'static str> {
+    /// Reads a set-up's fields and looks their names up.
+    fn read_set_up(&self, set_up: &viewers::SetUp) -> Result<SetUpRequest, InvalidField> {
         let params = set_up.set_up_params()?;
         let open = self.open_request(set_up.tag, &params)?;
         Ok(SetUpRequest { params, open })
     }
 
-    /// A set-up in the core's terms, or the field that is out of range.
+    /// A set-up in the core's terms.
     fn open_request(
         &self,
         session_id: Tag,
         params: &SetUpParams,
-    ) -> Result<OpenRequest, &'static str> {
+    ) -> Result<OpenRequest, InvalidField> {
         let fleet = &self.shared.config.fleet;
         let class = fleet
             .classes
             .iter()
             .position(|class| *class == params.class)
-            .ok_or("class")?;
+            .ok_or(InvalidField("class"))?;
         let tenant = self.tenant_index(params.tenant.as_deref())?;
         let max_wait = params.max_wait_ms.saturating_mul(MILLISECOND);
         let longest_wait = fleet.deadlines[class].saturating_add(DEADLINE_SLACK);
         if params.current_server.is_none() && max_wait > longest_wait {
-            return Err("left");
+            return Err(InvalidField("left"));
         }
         let settings = &fleet.settings;
         if params.first_cell >= settings.cells {
-            return Err("home");
+            return Err(InvalidField("home"));
         }
         if params.cell_count > settings.cells {
-            return Err("copies");
+            return Err(InvalidField("copies"));
         }
         if usize::from(params.max_rung) >= settings.rung_kb.len() {
-            return Err("top");
+            return Err(InvalidField("top"));
         }
         Ok(OpenRequest {
             key: session_id.as_str().to_owned(),
@@ -204,15 +204,15 @@
     /// A tenant's place in the settings; a deployment without tenants has one that needs no name.
     ///
     /// Why: where there are tenants, a set-up without one must not be counted against the first of them.
-    fn tenant_index(&self, name: Option<&str>) -> Result<usize, &'static str> {
+    fn tenant_index(&self, name: Option<&str>) -> Result<usize, InvalidField> {
         let tenants = &self.shared.config.fleet.tenants;
         match name {
             None if tenants.is_empty() => Ok(0),
-            None => Err("tenant"),
+            None => Err(InvalidField("tenant")),
             Some(name) => tenants
                 .iter()
                 .position(|tenant| tenant == name)
-                .ok_or("tenant"),
+                .ok_or(InvalidField("tenant")),
         }
     }
 
--- a/crates/node/src/event_loop/endpoint_list.rs
+++ b/crates/node/src/event_loop/endpoint_list.rs
@@ -11,7 +11,12 @@
 #[derive(Clone, PartialEq, Eq)]
 pub(super) struct IncompatibleServer {
     name: String,
-    /// The field whose value the settings do not name.
+    reason: UnknownValue,
+}
+
+/// A field of a server has a value that the settings do not name.
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct UnknownValue {
     field: &'static str,
 }
 
@@ -84,10 +89,10 @@
         let mut incompatible = Vec::new();
         for entry in list.entries {
             let id = server_id(&entry.name);
-            if let Err(field) = self.endpoint(id, &entry) {
+            if let Err(reason) = self.endpoint(id, &entry) {
                 incompatible.push(IncompatibleServer {
                     name: entry.name,
-                    field,
+                    reason,
                 });
                 continue;
             }
@@ -126,13 +131,13 @@
         !is_rejected
     }
 
-    /// A server in the core's terms, or the field whose value the settings do not name.
-    fn endpoint(&self, server: ServerId, entry: &Entry) -> Result<Endpoint, &'static str> {
+    /// A server in the core's terms.
+    fn endpoint(&self, server: ServerId, entry: &Entry) -> Result<Endpoint, UnknownValue> {
         let fleet = &self.shared.config.fleet;
-        let zone = index_of(&fleet.zones, &entry.zone).ok_or("zone")?;
-        let kind = index_of(&fleet.kinds, &entry.kind).ok_or("kind")?;
+        let zone = index_of(&fleet.zones, &entry.zone).ok_or(UnknownValue { field: "zone" })?;
+        let kind = index_of(&fleet.kinds, &entry.kind).ok_or(UnknownValue { field: "kind" })?;
         if u32::from(entry.cell) >= fleet.settings.cells {
-            return Err("cell");
+            return Err(UnknownValue { field: "cell" });
         }
         Ok(Endpoint {
             server,
@@ -187,7 +192,7 @@
     for server in servers {
         tracing::error!(
             server_name = server.name,
-            field = server.field,
+            field = server.reason.field,
             "incompatible server in endpoint list skipped"
         );
     }
--- a/crates/node/tests/events.rs
+++ b/crates/node/tests/events.rs
@@ -18,7 +18,7 @@
     }
 
     fn text(&mut self, event: &Event) -> Option<String> {
-        let ask = |a: &crankpaddle::SessionRequest| {
+        let request_text = |a: &crankpaddle::SessionRequest| {
             format!(
                 "viewer {:x} class {} tenant {} title {:x} cells {}+{} top {} hint {:?} again {} moved {}",
                 a.viewer, a.class, a.tenant, a.title, a.first_cell, a.cell_count, a.max_rung, a.duration_hint, a.is_retry, a.is_migration
@@ -27,9 +27,15 @@
         Some(match event {
             Event::Timer(_) => return None,
             Event::EndpointList(kind, list) => format!("{kind:?} {list:?}"),
-            Event::SessionRequested(a) => format!("ask {}: {}", self.id(a.request), ask(a)),
+            Event::SessionRequested(a) => {
+                format!("ask {}: {}", self.id(a.request), request_text(a))
+            }
             Event::SessionAdopted(a, server) => {
-                format!("adopted {} at {server:?}: {}", self.id(a.request), ask(a))
+                format!(
+                    "adopted {} at {server:?}: {}",
+                    self.id(a.request),
+                    request_text(a)
+                )
             }
             Event::SessionEstablished {
                 request,
@@ -42,20 +48,20 @@
             Event::SessionUpdated {
                 request,
                 server,
-                update: note,
+                update,
             } => {
-                format!("note {} {server:?} {note:?}", self.id(*request))
+                format!("note {} {server:?} {update:?}", self.id(*request))
             }
             Event::AttemptEnded {
                 request,
                 attempt,
                 server,
                 outcome,
-                is_final: closed,
+                is_final,
                 report,
             } => {
                 let id = self.id(*request);
-                format!("ended {id} {attempt} {server:?} {outcome:?} closed {closed} {report:?}")
+                format!("ended {id} {attempt} {server:?} {outcome:?} closed {is_final} {report:?}")
             }
             Event::ClientLeft(request) => format!("left {}", self.id(*request)),
             other => format!("{other:?}"),
@@ -72,7 +78,7 @@
     r
 }
 
-fn ask(request: u64, class: u8, flags: u16) -> Vec<u8> {
+fn request_record(request: u64, class: u8, flags: u16) -> Vec<u8> {
     record(
         10,
         &[
@@ -91,7 +97,7 @@
     )
 }
 
-fn adopted(request: u64, class: u8, server: u32) -> Vec<u8> {
+fn adopted_record(request: u64, class: u8, server: u32) -> Vec<u8> {
     record(
         110,
         &[
@@ -111,14 +117,14 @@
     )
 }
 
-fn headers(request: u64, server: u32) -> Vec<u8> {
+fn established_record(request: u64, server: u32) -> Vec<u8> {
     record(
         60,
         &[&request.to_le_bytes(), &[0], &server.to_le_bytes(), &[0; 8]],
     )
 }
 
-fn notice(request: u64, server: u32, kind: u8, amount: f32) -> Vec<u8> {
+fn update_record(request: u64, server: u32, kind: u8, amount: f32) -> Vec<u8> {
     record(
         90,
         &[
@@ -131,7 +137,13 @@
     )
 }
 
-fn result(request: u64, server: u32, closed: bool, outcome: u16, x0: Option<f32>) -> Vec<u8> {
+fn result_record(
+    request: u64,
+    server: u32,
+    closed: bool,
+    outcome: u16,
+    x0: Option<f32>,
+) -> Vec<u8> {
     let n = u8::from(x0.is_some());
     record(
         50,
@@ -148,7 +160,7 @@
     )
 }
 
-fn entry(server: u32, phase: u8) -> Vec<u8> {
+fn list_entry(server: u32, phase: u8) -> Vec<u8> {
     let mut e = server.to_le_bytes().to_vec();
     e.extend([0, 0, 0, 0, 0, phase]);
     e.extend(1f32.to_le_bytes());
@@ -156,7 +168,7 @@
     e
 }
 
-/// Two frames for each event with a list: the list, and who is told of it.
+/// Two frames for each event with a list: the list, and the notification of it.
 fn from_the_wire(story: &[(Vec<u8>, Vec<u8>)]) -> Vec<String> {
     let (mut event_text, mut out, mut lists) = (EventText::default(), Vec::new(), BTreeMap::new());
     for (number, (record, tail)) in story.iter().enumerate() {
@@ -189,7 +201,7 @@
     out
 }
 
-fn list(kind: u8, entries: &[Vec<u8>]) -> [(Vec<u8>, Vec<u8>); 2] {
+fn list_records(kind: u8, entries: &[Vec<u8>]) -> [(Vec<u8>, Vec<u8>); 2] {
     let tail = entries.concat();
     let mut directory = vec![20u8, 0];
     directory.extend(0u32.to_le_bytes());
@@ -255,7 +267,7 @@
     let link = server.wait_for_connection();
     server.send(link, &session_update(tag(1), "at_rung", 1.0));
     observed.until("note 0");
-    // Comes again, is set up; the server tells of its link before it answers.
+    // A retry is set up; the server sends an update before its response.
     let mut again = set_up(tag(2), FREE, "15000", ";again:1");
     again["opts"]["retry"] = serde_json::json!("1");
     viewer.send_json(&again);
@@ -267,12 +279,12 @@
     observed.until("note 1");
     server.send(conn, b"TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: 0000000000000002\r\nReason: cause=16\r\nX-State: x0:0.5;later:3\r\nContent-Length: 0\r\n\r\n");
     observed.until("ended 1");
-    // Paid, and refused as full with a report.
+    // Paid, and rejected for lack of capacity with a load report.
     viewer.start(tag(3), PAID, 15_000);
     let (_, conn, _) = harness.next_set_up();
     server.send(conn, &response(453, 1, tag(3), "X-State: x0:0.75\r\n", ""));
     observed.until("ended 2");
-    // Given up by its viewer.
+    // Cancelled by its viewer.
     viewer.start(tag(4), PAID, 15_000);
     harness.next_set_up();
     viewer.finish(tag(4), 16);
@@ -281,11 +293,11 @@
     server.send(link, &rtsp::release(tag(1), 41));
     observed.until("ended 0");
     for priority in [1, 2] {
-        harness.directory.update(|told| {
-            told.serial += 1;
+        harness.directory.update(|state| {
+            state.serial += 1;
             match priority {
-                1 => told.servers[0].priority = 1,
-                _ => told.servers.clear(),
+                1 => state.servers[0].priority = 1,
+                _ => state.servers.clear(),
             }
         });
         observed.until("Delta");
@@ -295,24 +307,24 @@
 /// The same story as the simulator records it.
 fn simulator_records() -> Vec<(Vec<u8>, Vec<u8>)> {
     let at = 1;
-    let one = |record: Vec<u8>| vec![(record, Vec::new())];
+    let single = |record: Vec<u8>| vec![(record, Vec::new())];
     [
-        list(0, &[entry(at, 1)]).to_vec(),
-        one(adopted(70, 1, at)),
-        one(notice(70, at, 2, 1.0)),
-        one(ask(71, 0, 16)),
-        one(headers(71, at)),
-        one(notice(71, at, 3, 0.25)),
-        one(notice(71, at, 1, 0.5)),
-        one(result(71, at, true, 200, Some(0.5))),
-        one(ask(72, 1, 0)),
-        one(result(72, at, false, 503, Some(0.75))),
-        one(ask(73, 1, 0)),
-        one(record(100, &[&73u64.to_le_bytes()])),
-        one(result(73, at, true, 499, None)),
-        one(result(70, at, true, 598, None)),
-        list(1, &[entry(at, 2)]).to_vec(),
-        list(1, &[entry(at, 0)]).to_vec(),
+        list_records(0, &[list_entry(at, 1)]).to_vec(),
+        single(adopted_record(70, 1, at)),
+        single(update_record(70, at, 2, 1.0)),
+        single(request_record(71, 0, 16)),
+        single(established_record(71, at)),
+        single(update_record(71, at, 3, 0.25)),
+        single(update_record(71, at, 1, 0.5)),
+        single(result_record(71, at, true, 200, Some(0.5))),
+        single(request_record(72, 1, 0)),
+        single(result_record(72, at, false, 503, Some(0.75))),
+        single(request_record(73, 1, 0)),
+        single(record(100, &[&73u64.to_le_bytes()])),
+        single(result_record(73, at, true, 499, None)),
+        single(result_record(70, at, true, 598, None)),
+        list_records(1, &[list_entry(at, 2)]).to_vec(),
+        list_records(1, &[list_entry(at, 0)]).to_vec(),
     ]
     .concat()
 }
@@ -321,9 +333,9 @@
 fn the_policy_gets_the_same_events_from_sockets_as_from_the_simulator() {
     let (harness, mut observed) = ObservedNode::start(1);
     play_over_sockets(&harness, &mut observed);
-    let told = from_the_wire(&simulator_records());
-    assert_eq!(observed.seen, told);
-    assert!(told[0].starts_with(&format!("{:?}", EndpointListKind::Cached)));
+    let expected = from_the_wire(&simulator_records());
+    assert_eq!(observed.seen, expected);
+    assert!(expected[0].starts_with(&format!("{:?}", EndpointListKind::Cached)));
 }
 
 #[test]
--- a/crates/node/tests/faulty_servers.rs
+++ b/crates/node/tests/faulty_servers.rs
@@ -112,7 +112,7 @@
     viewer.start(tag(1), PAID, 400);
     let (server, silent, _) = harness.next_set_up();
     assert_eq!(viewer.next_message()["rc"], 41, "it may have run");
-    // The module leaves the server alone for a second; until then it refuses at once.
+    // The policy ejects the server for a second; until then set-ups are rejected at once.
     let mut n = 10;
     let again = loop {
         n += 1;
@@ -134,7 +134,7 @@
 
 #[test]
 fn sessions_of_a_machine_that_vanished_are_released_and_its_links_not_trusted() {
-    // Servers tell of their links each second here.
+    // Servers send updates each second here.
     let harness = Harness::start_with(1, |c| c["settings"] = settings(1_000_000_000));
     let mut viewer = harness.viewer();
     let (server, _) = harness.establish(&mut viewer, tag(1), FREE);
--- a/crates/node/tests/other_deployments.rs
+++ b/crates/node/tests/other_deployments.rs
@@ -3,8 +3,8 @@
 use serde_json::{json, Value};
 use support::*;
 
-/// Another customer's node: nothing is called as here, and there are tenants.
-fn elsewhere() -> Harness {
+/// Another customer's node: zones, kinds and classes have other names, and there are tenants.
+fn other_deployment() -> Harness {
     Harness::start_with(2, |config| {
         config["name"] = json!("m7");
         let settings = &mut config["settings"];
@@ -27,7 +27,7 @@
 fn a_file_of_another_node_or_with_other_settings_changes_nothing() {
     use crankpaddle_node_protocol::config::Mismatch;
     let _alone = alone();
-    let (here, there) = (Harness::start(1), elsewhere());
+    let (here, there) = (Harness::start(1), other_deployment());
     let other = Directory::start(DirectoryState {
         serial: 9,
         servers: Vec::new(),
@@ -66,7 +66,7 @@
 #[test]
 fn a_list_of_another_deployment_is_rejected_and_incompatible_servers_in_ours_are_skipped() {
     let _alone = alone();
-    let (here, there) = (Harness::start(2), elsewhere());
+    let (here, there) = (Harness::start(2), other_deployment());
     let foreign = |change: &dyn Fn(&mut ListedServer)| {
         let mut lines = listed_servers(&there.servers);
         for (line, name) in lines.iter_mut().zip(["s-000000a1", "s-000000a2"]) {
@@ -75,14 +75,14 @@
         }
         lines
     };
-    let strangers: [&dyn Fn(&mut ListedServer); 3] = [
+    let incompatible: [&dyn Fn(&mut ListedServer); 3] = [
         &|line| line.zone = "north-bank".into(),
         &|line| line.kind = "two-core".into(),
         &|line| (line.zone, line.kind) = ("north-bank".into(), "two-core".into()),
     ];
     let mut n = 0;
-    for (serial, change) in (2..).zip(strangers) {
-        // Nothing but strangers, then our second one among them.
+    for (serial, change) in (2..).zip(incompatible) {
+        // Nothing but incompatible servers, then our second one among them.
         for (serial, ours) in [(2 * serial, 0), (2 * serial + 1, 1)] {
             here.directory.update(|t| {
                 (t.serial, t.servers) = (serial, foreign(change));
@@ -108,8 +108,8 @@
 #[test]
 fn a_set_up_of_another_deployment_is_rejected_and_reaches_no_server() {
     let _alone = alone();
-    let (here, there) = (Harness::start(1), elsewhere());
-    let refused = |harness: &Harness, class: &str, tenant: Option<&str>| {
+    let (here, there) = (Harness::start(1), other_deployment());
+    let assert_rejected = |harness: &Harness, class: &str, tenant: Option<&str>| {
         let mut viewer = harness.viewer();
         let mut asked = set_up(tag(1), class, "900", "");
         tenant
@@ -118,11 +118,11 @@
         viewer.send_json(&asked);
         assert_eq!(viewer.next_message()["rc"], 100, "{class} {tenant:?}");
     };
-    refused(&here, "rehearsal", None);
-    refused(&here, FREE, Some("weir-house"));
-    refused(&there, FREE, Some("weir-house"));
-    refused(&there, "rehearsal", Some("lock-street"));
-    refused(&there, "rehearsal", None);
+    assert_rejected(&here, "rehearsal", None);
+    assert_rejected(&here, FREE, Some("weir-house"));
+    assert_rejected(&there, FREE, Some("weir-house"));
+    assert_rejected(&there, "rehearsal", Some("lock-street"));
+    assert_rejected(&there, "rehearsal", None);
     assert!(here
         .servers
         .iter()
--- a/crates/node/tests/races_shutdown.rs
+++ b/crates/node/tests/races_shutdown.rs
@@ -10,8 +10,8 @@
     std::thread::sleep(time.saturating_sub(since.elapsed())); // The rule itself is one of time.
 }
 
-/// The node has heard that it is to end: it refuses new set-ups.
-fn drains(harness: &Harness, viewer: &mut Viewer) -> Instant {
+/// Starts a drain and waits until the node rejects new set-ups; when it was started.
+fn start_drain(harness: &Harness, viewer: &mut Viewer) -> Instant {
     let since = Instant::now();
     harness.node.drain();
     for n in 1000.. {
@@ -23,12 +23,12 @@
     since
 }
 
-fn ends(harness: &Harness) -> std::sync::mpsc::Receiver<()> {
-    let (tell, ended) = std::sync::mpsc::channel();
+fn wait_for_end(harness: &Harness) -> std::sync::mpsc::Receiver<()> {
+    let (sender, ended) = std::sync::mpsc::channel();
     let node = harness.node.clone();
     std::thread::spawn(move || {
         node.wait();
-        let _ = tell.send(()); // The test may be over.
+        let _ = sender.send(()); // The test may be over.
     });
     ended
 }
@@ -36,12 +36,12 @@
 #[test]
 fn unread_set_ups_are_answered_at_the_end_of_a_drain_on_old_and_on_new_connections() {
     let _alone = alone();
-    let (gate, tap) = Gate::at(|event| matches!(event, Event::EndpointList(..)));
-    let harness = Harness::start_observed(1, |_| {}, Some(tap));
+    let (gate, observer) = Gate::at(|event| matches!(event, Event::EndpointList(..)));
+    let harness = Harness::start_observed(1, |_| {}, Some(observer));
     let (mut old, mut idle) = (harness.viewer(), harness.viewer());
     assert_eq!(idle.echo()["verb"], "ECHOED");
-    let since = drains(&harness, &mut old);
-    let ended = ends(&harness);
+    let since = start_drain(&harness, &mut old);
+    let ended = wait_for_end(&harness);
     gate.arm();
     harness
         .directory
@@ -64,8 +64,8 @@
     let (mut waits, mut late, mut other) = (harness.viewer(), harness.viewer(), harness.viewer());
     waits.start(tag(1), PAID, 15_000);
     let (server, conn, _) = harness.next_set_up();
-    let since = drains(&harness, &mut other);
-    let ended = ends(&harness);
+    let since = start_drain(&harness, &mut other);
+    let ended = wait_for_end(&harness);
     until(since, Duration::from_millis(600));
     late.start(tag(2), FREE, 15_000);
     assert_eq!(
@@ -98,7 +98,7 @@
         backlog,
     } = connect_to_vanished(&harness, FREE);
     let mut other = harness.viewer();
-    drains(&harness, &mut other);
+    start_drain(&harness, &mut other);
     harness.directory.update(|t| {
         (t.serial, t.servers[0].priority, t.servers[1].priority) = (3, 1, 0);
     });
@@ -117,8 +117,8 @@
     let _alone = alone();
     let harness = Harness::start(1);
     let (mut flood, mut other) = (harness.viewer(), harness.viewer());
-    let since = drains(&harness, &mut other);
-    let ended = ends(&harness);
+    let since = start_drain(&harness, &mut other);
+    let ended = wait_for_end(&harness);
     let idle = format!(
         "{}\n",
         json!({"verb": "NOTICE", "tag": tag(9).as_str(), "opts": {}})
--- a/crates/node/tests/races_viewers.rs
+++ b/crates/node/tests/races_viewers.rs
@@ -12,11 +12,11 @@
     matches!(event, Event::SessionRequested(_))
 }
 
-/// A viewer goes while the module decides on its set-up: nothing may leave for it.
+/// A viewer goes while the policy decides on its set-up: nothing may be sent for it.
 fn leave_before_the_first_attempt(goes: impl FnOnce(Viewer) -> Option<Viewer>) {
     let _alone = alone();
-    let (gate, tap) = Gate::at(is_session_request);
-    let harness = Harness::start_observed(1, |_| {}, Some(tap));
+    let (gate, observer) = Gate::at(is_session_request);
+    let harness = Harness::start_observed(1, |_| {}, Some(observer));
     let mut viewer = harness.viewer();
     gate.arm();
     viewer.start(tag(1), PAID, 15_000);
@@ -61,8 +61,8 @@
 #[test]
 fn a_viewer_that_closes_between_two_attempts_has_no_second() {
     let _alone = alone();
-    let (gate, tap) = Gate::at(|event| matches!(event, Event::AttemptEnded { .. }));
-    let harness = Harness::start_observed(2, |_| {}, Some(tap));
+    let (gate, observer) = Gate::at(|event| matches!(event, Event::AttemptEnded { .. }));
+    let harness = Harness::start_observed(2, |_| {}, Some(observer));
     let mut viewer = harness.viewer();
     viewer.start(tag(1), FREE, 15_000);
     let (server, conn, _) = harness.next_set_up();
@@ -87,13 +87,13 @@
     harness.wait_until_idle();
     harness.servers[0].resume_accepting();
     let mut other = harness.viewer();
-    let (server, _) = harness.establish(&mut other, tag(2), FREE); // Which is the first that it hears.
+    let (server, _) = harness.establish(&mut other, tag(2), FREE); // Which is the first that it receives.
     assert!(!server.has_received_set_up());
     drop(backlog);
 }
 
 /// A server that takes hardly a byte until it reads.
-fn deaf_server() -> TcpListener {
+fn non_reading_server() -> TcpListener {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     set_socket_recv_buffer_size(&listener, 1024).expect("an option");
     listener
@@ -102,7 +102,7 @@
 #[test]
 fn a_set_up_to_a_server_that_does_not_read_never_arrives_when_its_viewer_has_gone() {
     let _alone = alone();
-    let deaf = deaf_server();
+    let deaf = non_reading_server();
     let harness = Harness::start(1);
     let address = deaf.local_addr().unwrap();
     harness
--- a/crates/node/tests/sessions.rs
+++ b/crates/node/tests/sessions.rs
@@ -111,8 +111,8 @@
     harness.wait_until_idle();
 }
 
-/// Seen on a day of herds: the server's answer, and 0.2 ms behind it the release of a viewer who left a stream that was
-/// served at a third. Said to stand, the session counted as never answered.
+/// Seen in a rush of requests: the server's answer, and 0.2 ms behind it the release of a viewer who left a stream that was
+/// served at a third. Reported as established, the session counted as never answered.
 #[test]
 fn a_session_that_is_over_when_its_response_is_read_is_never_reported_as_established() {
     let harness = Harness::start(1);
@@ -233,7 +233,7 @@
             assert_ne!(other.name, server.name);
             other.send(conn, &accepted(tag(1), "x"));
             assert_eq!(viewer.next_message()["verb"], "STARTED");
-            // What may stand at the first is released there.
+            // What may be established at the first is released there.
             let (_, release) = server.wait_for_request("TEARDOWN");
             assert_eq!((release.session, release.cause()), (Some(tag(1)), Some(41)));
         } else {
--- a/crates/node/tests/unusual_deployment.rs
+++ b/crates/node/tests/unusual_deployment.rs
@@ -1,4 +1,4 @@
-//! A deployment that nobody has: other class names, three effects, no zones, seven tenants, a floor over the lowest rung. All of it
+//! A deployment with unusual settings: other class names, three effects, no zones, seven tenants, a floor over the lowest rung. All of it
 //! comes from the settings; servers answer in every way there is, and the rules hold.
 mod support;
 use crankpaddle_node_protocol::rtsp::Message;
