Node: the event loop's messages have a name of their own and named fields

Cause: three types were called Message; one variant was a triple. Change: InboxMessage, FromViewer with named fields.

--- a/crates/node/src/directory_poller.rs
+++ b/crates/node/src/directory_poller.rs
@@ -1,5 +1,5 @@
 //! The directory: polled again and again on a thread of its own, which only waits.
-use crate::shared::{Message, Shared};
+use crate::shared::{InboxMessage, Shared};
 use crankpaddle_node_protocol::directory::{
     message_id, parse_response, query, List, MAX_RESPONSE_BYTES,
 };
@@ -54,7 +54,7 @@
             continue;
         };
         if let Some(changed) = current.update(list) {
-            shared.send(Message::EndpointList(changed));
+            shared.send(InboxMessage::EndpointList(changed));
         }
         std::thread::sleep(POLL_INTERVAL);
     }
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -25,7 +25,7 @@
 mod set_up_responses;
 mod shutdown;
 
-use crate::shared::{LinkId, Message, Shared};
+use crate::shared::{InboxMessage, LinkId, Shared};
 use crate::viewer_connection::{ConnectionId, ViewerConnection};
 use attempt::Attempt;
 use attempt_dispatch::{QueuedAttempt, RECHECK_INTERVAL};
@@ -92,7 +92,7 @@
     /// When draining began.
     drain_started_at: Option<u64>,
     /// What was taken from the inbox behind the message that is being handled.
-    message_queue: VecDeque<Message>,
+    message_queue: VecDeque<InboxMessage>,
 }
 
 fn core_config(shared: &Shared) -> CoreConfig {
@@ -153,7 +153,7 @@
     }
 
     /// Runs until the node has ended.
-    pub(crate) fn run(mut self, inbox: &Receiver<Message>) {
+    pub(crate) fn run(mut self, inbox: &Receiver<InboxMessage>) {
         let mut schedule = Schedule::starting_at(clock::now());
         while !self.has_ended() {
             if self.wait_for_message(inbox, &schedule).is_break() {
@@ -177,7 +177,7 @@
     /// Waits until a message comes or something is due; breaks when nobody can send any more.
     fn wait_for_message(
         &mut self,
-        inbox: &Receiver<Message>,
+        inbox: &Receiver<InboxMessage>,
         schedule: &Schedule,
     ) -> ControlFlow<()> {
         let now = clock::now();
@@ -204,7 +204,7 @@
     }
 
     /// Handles what came while the whole process stood still before anything that fell due meanwhile.
-    fn catch_up_after_stall(&mut self, inbox: &Receiver<Message>) {
+    fn catch_up_after_stall(&mut self, inbox: &Receiver<InboxMessage>) {
         let due_at = self.next_core_expiry();
         let stalled = drain_after_stall(due_at, || self.drain_inbox(inbox) == MESSAGE_BATCH);
         if stalled {
@@ -217,7 +217,7 @@
     }
 
     /// Handles what was queued before and what lies in the inbox, one batch at most; how many messages came from the inbox.
-    fn drain_inbox(&mut self, inbox: &Receiver<Message>) -> usize {
+    fn drain_inbox(&mut self, inbox: &Receiver<InboxMessage>) -> usize {
         let count = drain_queue(inbox, MESSAGE_BATCH, |message| self.enqueue(message));
         while let Some(message) = self.message_queue.pop_front() {
             self.handle_message(message);
@@ -226,40 +226,46 @@
     }
 
     /// Queues a message; what was read from a server at once is queued message by message.
-    fn enqueue(&mut self, message: Message) {
+    fn enqueue(&mut self, message: InboxMessage) {
         match message {
-            Message::FromServer(link, messages) => {
+            InboxMessage::FromServer(link, messages) => {
                 let each = messages
                     .into_iter()
-                    .map(|message| Message::FromServer(link, vec![message]));
+                    .map(|message| InboxMessage::FromServer(link, vec![message]));
                 self.message_queue.extend(each);
             }
             other => self.message_queue.push_back(other),
         }
     }
 
-    fn handle_message(&mut self, message: Message) {
+    fn handle_message(&mut self, message: InboxMessage) {
         match message {
-            Message::ViewerConnected(connection) => {
+            InboxMessage::ViewerConnected(connection) => {
                 self.connections.insert(connection.id, connection);
             }
-            Message::FromViewer(connection, message, received_at) => {
+            InboxMessage::FromViewer {
+                connection,
+                message,
+                received_at,
+            } => {
                 self.handle_viewer_message(connection, message, received_at);
                 // Only now: a set-up in it is counted among the pending ones by now.
                 if let Some(connection) = self.connections.get(&connection) {
                     connection.queued_messages.fetch_sub(1, Ordering::AcqRel);
                 }
             }
-            Message::ViewerDisconnected(connection) => self.viewer_disconnected(connection),
-            Message::ConnectCompleted(link, result) => self.connect_completed(link, result),
-            Message::FromServer(link, messages) => {
+            InboxMessage::ViewerDisconnected(connection) => self.viewer_disconnected(connection),
+            InboxMessage::ConnectCompleted(link, result) => self.connect_completed(link, result),
+            InboxMessage::FromServer(link, messages) => {
                 for message in &messages {
                     self.handle_server_message(link, message);
                 }
             }
-            Message::LinkClosed(link, end) => self.link_ended(link, end),
-            Message::EndpointList(list) => self.update_endpoints(list, EndpointListKind::Delta),
-            Message::Drain => self.begin_drain(),
+            InboxMessage::LinkClosed(link, end) => self.link_ended(link, end),
+            InboxMessage::EndpointList(list) => {
+                self.update_endpoints(list, EndpointListKind::Delta);
+            }
+            InboxMessage::Drain => self.begin_drain(),
         }
     }
 }
--- a/crates/node/src/event_loop/set_up_responses.rs
+++ b/crates/node/src/event_loop/set_up_responses.rs
@@ -1,7 +1,7 @@
 //! Responses of servers to set-ups.
 use super::server_messages::release_outcome;
 use super::EventLoop;
-use crate::shared::{increment, LinkEnd, LinkId, Message};
+use crate::shared::{increment, InboxMessage, LinkEnd, LinkId};
 use crankpaddle_front::{AttemptId, AttemptOutcome, Input, LoadReport, ServerId, SetUpResult};
 use crankpaddle_net::clock;
 use crankpaddle_node_protocol::rtsp::{self, status};
@@ -130,7 +130,7 @@
             .message_queue
             .iter()
             .filter_map(|message| match message {
-                Message::FromServer(link, messages) if is_of_server(link) => Some(messages),
+                InboxMessage::FromServer(link, messages) if is_of_server(link) => Some(messages),
                 _ => None,
             });
         let release = queued
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,7 +26,7 @@
 use crankpaddle_net::{accept_while_capacity, listen, spawn, Stack};
 use crankpaddle_node_protocol::config::{Config, Mismatch};
 use event_loop::EventLoop;
-use shared::{Message, Shared};
+use shared::{InboxMessage, Shared};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -102,7 +102,7 @@
 
     /// Begins a graceful shutdown: no new set-ups from now on, and the end when no work is pending any more.
     pub fn drain(&self) {
-        self.shared.send(Message::Drain);
+        self.shared.send(InboxMessage::Drain);
     }
 
     /// Waits for the end that [`Node::drain`] brings. Call on a thread, not in a coroutine.
--- a/crates/node/src/server_connector.rs
+++ b/crates/node/src/server_connector.rs
@@ -1,6 +1,6 @@
 //! Connections to servers: one coroutine connects and then reads.
 use crate::health::{connect_timeout, ConnectFailure};
-use crate::shared::{increment, LinkEnd, LinkId, Message, Shared};
+use crate::shared::{increment, InboxMessage, LinkEnd, LinkId, Shared};
 use crankpaddle_net::{spawn, Socket, Stack, WriteBuffer};
 use crankpaddle_node_protocol::rtsp::Decoder;
 use std::io::{self, ErrorKind};
@@ -22,7 +22,7 @@
             Err(error) => {
                 shared.links.fetch_sub(1, Ordering::Relaxed);
                 let failure = connect_failure(&error);
-                shared.send(Message::ConnectCompleted(link, Err(failure)));
+                shared.send(InboxMessage::ConnectCompleted(link, Err(failure)));
             }
         }
     });
@@ -41,11 +41,11 @@
 /// Reads a connection that is up until it ends.
 fn serve(socket: Socket, link: LinkId, shared: &Shared) {
     let outbox = Arc::new(WriteBuffer::new(Arc::new(socket), shared.budget.outbox));
-    shared.send(Message::ConnectCompleted(link, Ok(outbox.clone())));
+    shared.send(InboxMessage::ConnectCompleted(link, Ok(outbox.clone())));
     let end = read_messages(&outbox, link, shared);
     outbox.socket().close();
     shared.links.fetch_sub(1, Ordering::Relaxed);
-    shared.send(Message::LinkClosed(link, end));
+    shared.send(InboxMessage::LinkClosed(link, end));
 }
 
 fn read_messages(outbox: &WriteBuffer, link: LinkId, shared: &Shared) -> LinkEnd {
@@ -55,7 +55,7 @@
         let decoded = decoder.feed(bytes, &mut messages);
         if !messages.is_empty() {
             let complete = std::mem::take(&mut messages);
-            shared.send(Message::FromServer(link, complete));
+            shared.send(InboxMessage::FromServer(link, complete));
         }
         if let Err(error) = &decoded {
             tracing::debug!(link_id = link.0, reason = %error, "malformed server stream");
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -26,12 +26,17 @@
     Malformed,
 }
 
-/// What the event loop handles.
-pub(crate) enum Message {
+/// What the other coroutines send to the event loop.
+pub(crate) enum InboxMessage {
     /// A viewer has connected.
     ViewerConnected(Arc<ViewerConnection>),
-    /// A viewer sent something; when it was read, nanoseconds.
-    FromViewer(ConnectionId, viewers::Message, u64),
+    /// A viewer sent something.
+    FromViewer {
+        connection: ConnectionId,
+        message: viewers::Message,
+        /// When it was read, nanoseconds.
+        received_at: u64,
+    },
     /// A viewer's connection has ended.
     ViewerDisconnected(ConnectionId),
     /// A connect to a server completed.
@@ -90,7 +95,7 @@
     pub(crate) waiting: AtomicUsize,
     pub(crate) playing: AtomicUsize,
     pub(crate) entries: AtomicUsize,
-    inbox: Sender<Message>,
+    inbox: Sender<InboxMessage>,
     nameserver: Mutex<SocketAddr>,
 }
 
@@ -98,7 +103,7 @@
 const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
 
 impl Shared {
-    pub(crate) fn new(config: Config) -> (Arc<Shared>, Receiver<Message>) {
+    pub(crate) fn new(config: Config) -> (Arc<Shared>, Receiver<InboxMessage>) {
         let (inbox, receiver) = channel();
         let budget = Budget::new(&config.limits);
         let shared = Shared {
@@ -118,7 +123,7 @@
     }
 
     /// Sends a message to the event loop.
-    pub(crate) fn send(&self, message: Message) {
+    pub(crate) fn send(&self, message: InboxMessage) {
         let _ = self.inbox.send(message); // The event loop may have ended.
     }
 
--- a/crates/node/src/viewer_reader.rs
+++ b/crates/node/src/viewer_reader.rs
@@ -1,5 +1,5 @@
 //! Reading viewers' connections, and closing those that send nothing in time.
-use crate::shared::{increment, Message, Shared};
+use crate::shared::{increment, InboxMessage, Shared};
 use crate::viewer_connection::ViewerConnection;
 use crankpaddle_net::{clock, Socket, WriteBuffer};
 use crankpaddle_node_protocol::viewers::{self, Decoder};
@@ -38,11 +38,11 @@
     let id = shared.connections.next_id();
     let connection = Arc::new(ViewerConnection::new(id, outbox, now));
     shared.connections.insert(&connection);
-    shared.send(Message::ViewerConnected(connection.clone()));
+    shared.send(InboxMessage::ViewerConnected(connection.clone()));
     Reader::new(&connection, shared).run();
     socket.close();
     shared.connections.remove(connection.id);
-    shared.send(Message::ViewerDisconnected(connection.id));
+    shared.send(InboxMessage::ViewerDisconnected(connection.id));
 }
 
 /// Reads one connection.
@@ -97,8 +97,11 @@
             .queued_messages
             .fetch_add(self.messages.len(), Ordering::AcqRel);
         for message in self.messages.drain(..) {
-            self.shared
-                .send(Message::FromViewer(connection.id, message, now));
+            self.shared.send(InboxMessage::FromViewer {
+                connection: connection.id,
+                message,
+                received_at: now,
+            });
         }
     }
 
