--- a/crates/node/src/directory_poller.rs
+++ b/crates/node/src/directory_poller.rs
@@ -26,9 +26,9 @@
 /// # Errors
 /// No socket can be had, or the thread can't be started.
 pub(crate) fn start(shared: Arc<Shared>, stopped: Arc<AtomicBool>) -> io::Result<()> {
-    // Why: a socket that is opened when the directory moves needs a descriptor at a time when silent clients may hold them all. This
-    // one is bound at the start, from the node's own address, and connected to whichever directory is polled; only that one's
-    // datagrams come through.
+    // Why: a socket that is opened when the directory moves needs a descriptor at a time when silent clients may hold
+    // them all. This one is bound at the start, from the node's own address, and connected to whichever directory is
+    // polled; only that one's datagrams come through.
     let socket = UdpSocket::bind(SocketAddr::new(shared.config.listen.ip(), 0))?;
     let thread = std::thread::Builder::new()
         .name("directory".into())
--- a/crates/node/src/event_loop/server_links.rs
+++ b/crates/node/src/event_loop/server_links.rs
@@ -244,10 +244,11 @@
 
     /// A link has ended: attempts on it end, each once.
     ///
-    /// Why: a connection that breaks is how a process dies, and the policy then takes its server for one that warms up; but one
-    /// connection may break, or bring malformed bytes, while the process lives. That is known from what it just sent or from
-    /// another connection that is up; then the set-up ends as one that the server failed. Either may have run. Where a dying process closes
-    /// its connections one by one, the first may be taken for a fault of that connection alone.
+    /// Why: a connection that breaks is how a process dies, and the policy then takes its server for one that warms
+    /// up; but one connection may break, or bring malformed bytes, while the process lives. That is known from what
+    /// it just sent or from another connection that is up; then the set-up ends as one that the server failed. Either
+    /// may have run. Where a dying process closes its connections one by one, the first may be taken for a fault of
+    /// that connection alone.
     pub(super) fn link_ended(&mut self, id: LinkId, end: LinkEnd) {
         let Some(link) = self.links.remove(&id) else {
             return;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,8 +1,8 @@
 //! The front node: the session front's core on the platform's sockets.
 //!
-//! One coroutine, the event loop, owns the core and is the only one that acts; all others read one socket each, send the event
-//! loop what they read and write what it gives them. Servers, rungs, retries, rejections and retry advice are chosen by the placement
-//! policy behind [`crankpaddle_front::Core`]; nothing here chooses any of them.
+//! One coroutine, the event loop, owns the core and is the only one that acts; all others read one socket each, send
+//! the event loop what they read and write what it gives them. Servers, rungs, retries, rejections and retry advice
+//! are chosen by the placement policy behind [`crankpaddle_front::Core`]; nothing here chooses any of them.
 //!
 //! - `event_loop`: all messages in one order, and what is done about each;
 //! - `viewer_reader`, `viewer_connection`, `connection_table`: the viewers' connections;
--- a/crates/node/src/viewer_connection.rs
+++ b/crates/node/src/viewer_connection.rs
@@ -63,9 +63,10 @@
         self.has_partial_message.load(Ordering::Acquire) || self.outbox.socket().has_unread()
     }
 
-    /// Whether anything is pending on it: input that is unread, input that was read and is not handled, set-ups that were handled and
-    /// have no answer, and answers that the kernel has not taken while somebody waits for them. A set-up passes through
-    /// these in turn and is in one of them at any time, so whoever closes a connection, or ends, checks this and nothing else.
+    /// Whether anything is pending on it: input that is unread, input that was read and is not handled, set-ups that
+    /// were handled and have no answer, and answers that the kernel has not taken while somebody waits for them. A
+    /// set-up passes through these in turn and is in one of them at any time, so whoever closes a connection, or
+    /// ends, checks this and nothing else.
     ///
     /// Why: load shedding and shutdown each looked at handled set-ups only; one that was read and still queued, or whose
     /// answer a slow reader had not taken, was lost.
--- a/crates/node/tests/races_endpoint_list.rs
+++ b/crates/node/tests/races_endpoint_list.rs
@@ -1,5 +1,5 @@
-//! Races with changes of the directory's list: each bad order is made to happen, by a gate that stops the node's worker or by a peer that withholds
-//! what it has to send. The table is in `docs/front-node.md`.
+//! Races with changes of the directory's list: each bad order is made to happen, by a gate that stops the node's
+//! worker or by a peer that withholds what it has to send. The table is in `docs/front-node.md`.
 mod support;
 use serde_json::json;
 use std::net::{TcpListener, TcpStream};
--- a/crates/node/tests/races_shutdown.rs
+++ b/crates/node/tests/races_shutdown.rs
@@ -1,5 +1,5 @@
-//! Races with the end of the process: each bad order is made to happen, by a gate that stops the node's worker or by a peer that withholds
-//! what it has to send. The table is in `docs/front-node.md`.
+//! Races with the end of the process: each bad order is made to happen, by a gate that stops the node's worker or by
+//! a peer that withholds what it has to send. The table is in `docs/front-node.md`.
 mod support;
 use crankpaddle::Event;
 use serde_json::json;
--- a/crates/node/tests/races_viewers.rs
+++ b/crates/node/tests/races_viewers.rs
@@ -1,5 +1,5 @@
-//! Races with viewers that leave: each bad order is made to happen, by a gate that stops the node's worker or by a peer that withholds
-//! what it has to send. The table is in `docs/front-node.md`.
+//! Races with viewers that leave: each bad order is made to happen, by a gate that stops the node's worker or by a
+//! peer that withholds what it has to send. The table is in `docs/front-node.md`.
 mod support;
 use crankpaddle::Event;
 use rustix::net::sockopt::set_socket_recv_buffer_size;
--- a/crates/node/tests/support/gate.rs
+++ b/crates/node/tests/support/gate.rs
@@ -6,8 +6,8 @@
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::Arc;
 
-/// Stops the node's one worker at an event that the placement policy is about to get, until the test lets it go on. Nothing of the node
-/// runs meanwhile, so whatever the test does then comes before whatever the node does next.
+/// Stops the node's one worker at an event that the placement policy is about to get, until the test lets it go on.
+/// Nothing of the node runs meanwhile, so whatever the test does then comes before whatever the node does next.
 pub(crate) struct Gate {
     armed: Arc<AtomicBool>,
     reached: Receiver<()>,
--- a/crates/node/tests/unusual_deployment.rs
+++ b/crates/node/tests/unusual_deployment.rs
@@ -1,5 +1,5 @@
-//! A deployment with unusual settings: other class names, three effects, no zones, seven tenants, a floor over the lowest rung. All of it
-//! comes from the settings; servers answer in every way there is, and the rules hold.
+//! A deployment with unusual settings: other class names, three effects, no zones, seven tenants, a floor over the
+//! lowest rung. All of it comes from the settings; servers answer in every way there is, and the rules hold.
 mod support;
 use crankpaddle_node_protocol::rtsp::Message;
 use crankpaddle_node_protocol::Tag;
