--- a/crates/node-protocol/tests/config.rs
+++ b/crates/node-protocol/tests/config.rs
@@ -1,9 +1,9 @@
-//! The configuration: what is known at the start, and faults said in one line.
+//! The configuration: the list at the start, and errors in one line.
 use crankpaddle_node_protocol::config::Config;
 use crankpaddle_node_protocol::directory::State;
 use serde_json::{json, Value};
 
-fn whole() -> Value {
+fn complete() -> Value {
     let instance = |id: &str, state: &str| {
         json!({"instanceId": id, "hostPort": "127.0.0.9:3868", "zone": "east", "machineType": "std", "cell": 2,
             "lifecycle": state, "weight": 4, "startedAtMs": 0})
@@ -27,7 +27,7 @@
 
 #[test]
 fn the_known_events_make_the_list_of_the_start() {
-    let config = Config::parse(whole().to_string().as_bytes()).expect("sound");
+    let config = Config::parse(complete().to_string().as_bytes()).expect("sound");
     assert_eq!(
         (config.name.as_str(), config.seed),
         ("n3", 0x8c1f_30d2_7a5b_e964)
@@ -54,9 +54,9 @@
 }
 
 #[test]
-fn what_is_wrong_is_said_in_one_line() {
+fn errors_are_reported_in_one_line() {
     let without = |path: &[&str]| {
-        let mut value = whole();
+        let mut value = complete();
         let (last, place) = path.split_last().expect("a path");
         let inner = place.iter().fold(&mut value, |v, key| &mut v[*key]);
         inner.as_object_mut().expect("an object").remove(*last);
@@ -69,13 +69,16 @@
         (without(&["settings", "family-info", "cells"]), "cells"),
         (without(&["limits", "sockets"]), "sockets"),
     ] {
-        let error = Config::parse(value.to_string().as_bytes()).expect_err("incomplete");
+        let error = Config::parse(value.to_string().as_bytes())
+            .expect_err("incomplete")
+            .to_string();
         assert!(error.contains(what) && !error.contains('\n'), "{error}");
     }
-    let mut value = whole();
+    let mut value = complete();
     value["seed"] = json!("not hex");
     assert!(Config::parse(value.to_string().as_bytes())
         .expect_err("bad")
+        .to_string()
         .contains("seed"));
     for broken in ["", "{", "[]", "null", "\u{0}"] {
         assert!(Config::parse(broken.as_bytes()).is_err(), "{broken:?}");
--- /dev/null
+++ b/crates/node/src/event_loop/server_links.rs
@@ -0,0 +1,296 @@
+//! Links to servers: found, opened, written to, and what becomes of attempts on them when they end.
+use super::link::Link;
+use super::{EventLoop, UnsentMessage, RELEASE_RETRY_PERIOD};
+use crate::health::ConnectFailure;
+use crate::server_connector;
+use crate::shared::{LinkEnd, LinkId};
+use crankpaddle_front::{AttemptId, AttemptOutcome, LoadReport, ServerId};
+use crankpaddle_net::{clock, WriteBuffer};
+use crankpaddle_node_protocol::rtsp;
+use crankpaddle_node_protocol::viewers::cause;
+use std::sync::Arc;
+
+impl EventLoop {
+    /// A server's link of which this holds, the most recently used first.
+    pub(super) fn find_link(
+        &self,
+        server: ServerId,
+        accepts: impl Fn(&Link) -> bool,
+    ) -> Option<LinkId> {
+        let links = &self.servers.get(&server)?.links;
+        links
+            .iter()
+            .rev()
+            .copied()
+            .find(|id| self.links.get(id).is_some_and(&accepts))
+    }
+
+    /// Sends on this link, or on another one of the server, or on the next one that comes up.
+    pub(super) fn send_to_server(
+        &mut self,
+        server: ServerId,
+        preferred: Option<LinkId>,
+        bytes: Vec<u8>,
+    ) {
+        let open_preferred = preferred.filter(|id| self.links.get(id).is_some_and(Link::is_open));
+        let link = open_preferred
+            .or_else(|| self.find_link(server, Link::is_open))
+            .and_then(|id| self.links.get(&id));
+        if let Some(outbox) = link.and_then(Link::outbox) {
+            if outbox.push(&bytes) {
+                return;
+            }
+        }
+        let Some(at) = self.servers.get_mut(&server) else {
+            return;
+        };
+        if at.is_listed {
+            at.unsent.push_back(UnsentMessage {
+                expires_at: clock::now().saturating_add(RELEASE_RETRY_PERIOD),
+                bytes,
+            });
+        }
+    }
+
+    /// Starts to connect to a server, if the list has it.
+    pub(super) fn connect(&mut self, id: ServerId) -> Option<LinkId> {
+        let server = self.servers.get_mut(&id)?;
+        if !server.is_listed {
+            return None;
+        }
+        self.last_link += 1;
+        let link = LinkId(self.last_link);
+        server.links.insert(0, link);
+        self.links.insert(link, Link::connecting(id, clock::now()));
+        server_connector::connect(&self.shared, link, server.address);
+        Some(link)
+    }
+
+    /// Closes the idle link that was silent for longest, so that another can be opened; false if there is none. A server with
+    /// established sessions keeps its last link.
+    pub(super) fn close_idle_link(&mut self) -> bool {
+        let idle_link = |id: &LinkId| {
+            let link = self.links.get(id)?;
+            link.is_idle().then_some((link.last_received, *id))
+        };
+        let oldest = self
+            .servers
+            .values()
+            .filter(|server| server.links.len() > 1 || server.established == 0)
+            .flat_map(|server| &server.links)
+            .filter_map(idle_link)
+            .min();
+        let Some((_, id)) = oldest else {
+            return false;
+        };
+        self.close_link(id);
+        true
+    }
+
+    pub(super) fn connect_completed(
+        &mut self,
+        id: LinkId,
+        result: Result<Arc<WriteBuffer>, ConnectFailure>,
+    ) {
+        let now = clock::now();
+        let Some(link) = self.links.get(&id) else {
+            // It was closed meanwhile.
+            if let Ok(outbox) = result {
+                outbox.socket().close();
+            }
+            return;
+        };
+        let server_id = link.server;
+        let outcome = result.as_ref().map(|_| ()).map_err(|failure| *failure);
+        tracing::trace!(
+            link_id = id.0,
+            server_id = server_id.0,
+            ?outcome,
+            "connect completed"
+        );
+        let is_lost = self
+            .servers
+            .get_mut(&server_id)
+            .is_some_and(|server| server.health.connect_completed(now, outcome));
+        match result {
+            Ok(outbox) => self.link_connected(id, outbox, now),
+            Err(failure) => self.link_failed(id, server_id, failure, is_lost),
+        }
+    }
+
+    fn link_failed(
+        &mut self,
+        id: LinkId,
+        server: ServerId,
+        failure: ConnectFailure,
+        is_lost: bool,
+    ) {
+        self.close_link(id);
+        let has_link = self
+            .find_link(server, |link| !link.is_connecting())
+            .is_some();
+        // Why: a process that closes its listener first may still run its sessions; its links show that.
+        let may_still_run = has_link && failure == ConnectFailure::Refused;
+        if is_lost && !may_still_run {
+            self.server_lost(server);
+        }
+    }
+
+    fn link_connected(&mut self, id: LinkId, outbox: Arc<WriteBuffer>, now: u64) {
+        let Some(link) = self.links.get_mut(&id) else {
+            return;
+        };
+        let server = link.server;
+        link.set_connected(outbox, now);
+        if link.pending.is_empty() {
+            self.close_older_links(id, server);
+        }
+        self.requeue_pending(id);
+        let unsent = self
+            .servers
+            .get_mut(&server)
+            .map(|server| std::mem::take(&mut server.unsent));
+        for message in unsent.unwrap_or_default() {
+            self.send_to_server(server, Some(id), message.bytes);
+        }
+    }
+
+    /// A link that was only opened to check whether the server is alive came up: others with nothing pending are closed.
+    /// Whatever made the server silent, this one is known to be good.
+    fn close_older_links(&mut self, newest: LinkId, server: ServerId) {
+        let Some(server) = self.servers.get(&server) else {
+            return;
+        };
+        let has_nothing_pending = |id: &LinkId| {
+            self.links
+                .get(id)
+                .is_some_and(|link| link.pending.is_empty())
+        };
+        let older: Vec<LinkId> = server
+            .links
+            .iter()
+            .copied()
+            .filter(|id| *id != newest && has_nothing_pending(id))
+            .collect();
+        for link in older {
+            self.close_link(link);
+        }
+    }
+
+    /// Attempts that wait for a link to come up are queued for dispatch on it, or on another.
+    fn requeue_pending(&mut self, id: LinkId) {
+        let Some(link) = self.links.get_mut(&id) else {
+            return;
+        };
+        let waiting: Vec<AttemptId> = link
+            .pending
+            .iter()
+            .copied()
+            .filter(|attempt| {
+                self.attempts
+                    .get(attempt)
+                    .is_some_and(|attempt| attempt.state.is_awaiting_link(id))
+            })
+            .collect();
+        link.pending.retain(|attempt| !waiting.contains(attempt));
+        for attempt in waiting {
+            self.queue_for_dispatch(attempt, Some(id));
+        }
+    }
+
+    fn connecting_links(&self, server: ServerId) -> Vec<LinkId> {
+        let Some(server) = self.servers.get(&server) else {
+            return Vec::new();
+        };
+        server
+            .links
+            .iter()
+            .copied()
+            .filter(|id| self.links.get(id).is_some_and(Link::is_connecting))
+            .collect()
+    }
+
+    /// Attempts that wait for a connect to this server are checked anew, before it completes.
+    pub(super) fn requeue_connecting(&mut self, server: ServerId) {
+        for link in self.connecting_links(server) {
+            self.requeue_pending(link);
+        }
+    }
+
+    /// Cancels the connects to a server that are in progress; attempts that wait for them look for another link.
+    ///
+    /// Why: the address may be another server's by now, and a set-up would reach one that it may not go to.
+    pub(super) fn cancel_connects(&mut self, server: ServerId) {
+        for link in self.connecting_links(server) {
+            self.requeue_pending(link);
+            self.close_link(link);
+        }
+    }
+
+    pub(super) fn close_links(&mut self, server: ServerId) {
+        let links = self
+            .servers
+            .get(&server)
+            .map(|server| server.links.clone())
+            .unwrap_or_default();
+        for link in links {
+            self.close_link(link);
+        }
+    }
+
+    pub(super) fn close_link(&mut self, id: LinkId) {
+        self.link_ended(id, LinkEnd::Closed);
+    }
+
+    /// A link has ended: attempts on it end, each once.
+    ///
+    /// Why: a connection that breaks is how a process dies, and the policy then takes its server for one that warms
+    /// up; but one connection may break, or bring malformed bytes, while the process lives. That is known from what
+    /// it just sent or from another connection that is up; then the set-up ends as one that the server failed. Either
+    /// may have run. Where a dying process closes its connections one by one, the first may be taken for a fault of
+    /// that connection alone.
+    pub(super) fn link_ended(&mut self, id: LinkId, end: LinkEnd) {
+        let Some(link) = self.links.remove(&id) else {
+            return;
+        };
+        let server_id = link.server;
+        let is_alive = |link: &Link| link.is_open() && link.is_responsive();
+        let server_is_alive = end == LinkEnd::Malformed
+            || !link.pending.is_empty() && self.find_link(server_id, is_alive).is_some();
+        let outcome = if server_is_alive {
+            AttemptOutcome::ServerError
+        } else {
+            AttemptOutcome::Reset
+        };
+        tracing::trace!(
+            link_id = id.0,
+            server_id = server_id.0,
+            pending = link.pending.len(),
+            "link closed"
+        );
+        link.close();
+        let Some(server) = self.servers.get_mut(&server_id) else {
+            return;
+        };
+        server.links.retain(|other| *other != id);
+        for attempt in link.pending {
+            self.fail_pending(attempt, server_id, outcome);
+        }
+        self.ensure_observed(server_id, clock::now());
+    }
+
+    /// An attempt without an answer loses its link.
+    fn fail_pending(&mut self, id: AttemptId, server: ServerId, outcome: AttemptOutcome) {
+        let Some(attempt) = self.attempts.get(&id) else {
+            return;
+        };
+        if !attempt.state.is_sent() {
+            self.complete_set_up(id, AttemptOutcome::ConnectFailed, LoadReport::new());
+            return;
+        }
+        let session_id = attempt.session_id;
+        self.complete_set_up(id, outcome, LoadReport::new());
+        // Why: the answer may have been on its way, and the session would go on there without a viewer.
+        self.send_to_server(server, None, rtsp::release(session_id, cause::CUT));
+    }
+}
--- /dev/null
+++ b/crates/node/src/server_connector.rs
@@ -0,0 +1,71 @@
+//! Connections to servers: one coroutine connects and then reads.
+use crate::health::{connect_timeout, ConnectFailure};
+use crate::shared::{increment, InboxMessage, LinkEnd, LinkId, Shared};
+use crankpaddle_net::{spawn, Socket, Stack, WriteBuffer};
+use crankpaddle_node_protocol::rtsp::Decoder;
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+
+/// Bytes read from the kernel at once; then other coroutines run.
+const READ_SIZE: usize = 4096;
+
+/// Connects to a server and reads what it sends; the event loop is sent the outcome, the messages, and the end.
+pub(crate) fn connect(shared: &Arc<Shared>, link: LinkId, address: SocketAddr) {
+    shared.links.fetch_add(1, Ordering::Relaxed);
+    let shared = shared.clone();
+    spawn(Stack::Usual, move || {
+        let timeout = connect_timeout(shared.config.fleet.connect_timeout);
+        match Socket::connect(&address, timeout) {
+            Ok(socket) => serve(socket, link, &shared),
+            Err(error) => {
+                shared.links.fetch_sub(1, Ordering::Relaxed);
+                let failure = connect_failure(&error);
+                shared.send(InboxMessage::ConnectCompleted(link, Err(failure)));
+            }
+        }
+    });
+}
+
+fn connect_failure(error: &io::Error) -> ConnectFailure {
+    match error.kind() {
+        ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => ConnectFailure::Refused,
+        ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable => {
+            ConnectFailure::NoResponse
+        }
+        _ => ConnectFailure::Local,
+    }
+}
+
+/// Reads a connection that is up until it ends.
+fn serve(socket: Socket, link: LinkId, shared: &Shared) {
+    let outbox = Arc::new(WriteBuffer::new(Arc::new(socket), shared.budget.outbox));
+    shared.send(InboxMessage::ConnectCompleted(link, Ok(outbox.clone())));
+    let end = read_messages(&outbox, link, shared);
+    outbox.socket().close();
+    shared.links.fetch_sub(1, Ordering::Relaxed);
+    shared.send(InboxMessage::LinkClosed(link, end));
+}
+
+fn read_messages(outbox: &WriteBuffer, link: LinkId, shared: &Shared) -> LinkEnd {
+    let mut decoder = Decoder::default();
+    let mut messages = Vec::new();
+    let was_readable = outbox.read_each::<READ_SIZE>(|bytes| {
+        let decoded = decoder.feed(bytes, &mut messages);
+        if !messages.is_empty() {
+            let complete = std::mem::take(&mut messages);
+            shared.send(InboxMessage::FromServer(link, complete));
+        }
+        if let Err(error) = &decoded {
+            tracing::debug!(link_id = link.0, reason = %error, "malformed server stream");
+            increment(&shared.drop_counters.broken_links);
+        }
+        decoded.is_ok()
+    });
+    if was_readable && !decoder.has_partial_message() {
+        LinkEnd::Closed
+    } else {
+        LinkEnd::Malformed
+    }
+}
--- a/crates/node/tests/events.rs
+++ b/crates/node/tests/events.rs
@@ -1,25 +1,24 @@
-//! What the decision module hears: from sockets the same, in the same order, as on the simulator's wire.
-#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
-mod rig;
+//! The placement policy's events: from sockets the same, in the same order, as on the simulator's wire.
+mod support;
 use crankpaddle::{EndpointListKind, Event, LoadField, RequestId};
 use crankpaddle_node_protocol::rtsp;
 use crankpaddle_simhost::wire::{name_report, Batch, Record};
-use rig::*;
 use std::collections::BTreeMap;
 use std::sync::mpsc::{channel, Receiver};
+use support::*;
 
 /// An event as text, without times, and with requests numbered in the order in which they are first named.
 #[derive(Default)]
-struct Plain(BTreeMap<RequestId, usize>);
+struct EventText(BTreeMap<RequestId, usize>);
 
-impl Plain {
+impl EventText {
     fn id(&mut self, request: RequestId) -> usize {
         let next = self.0.len();
         *self.0.entry(request).or_insert(next)
     }
 
     fn text(&mut self, event: &Event) -> Option<String> {
-        let ask = |a: &crankpaddle::SessionRequest| {
+        let request_text = |a: &crankpaddle::SessionRequest| {
             format!(
                 "viewer {:x} class {} tenant {} title {:x} cells {}+{} top {} hint {:?} again {} moved {}",
                 a.viewer, a.class, a.tenant, a.title, a.first_cell, a.cell_count, a.max_rung, a.duration_hint, a.is_retry, a.is_migration
@@ -28,9 +27,15 @@
         Some(match event {
             Event::Timer(_) => return None,
             Event::EndpointList(kind, list) => format!("{kind:?} {list:?}"),
-            Event::SessionRequested(a) => format!("ask {}: {}", self.id(a.request), ask(a)),
+            Event::SessionRequested(a) => {
+                format!("ask {}: {}", self.id(a.request), request_text(a))
+            }
             Event::SessionAdopted(a, server) => {
-                format!("adopted {} at {server:?}: {}", self.id(a.request), ask(a))
+                format!(
+                    "adopted {} at {server:?}: {}",
+                    self.id(a.request),
+                    request_text(a)
+                )
             }
             Event::SessionEstablished {
                 request,
@@ -43,20 +48,20 @@
             Event::SessionUpdated {
                 request,
                 server,
-                update: note,
+                update,
             } => {
-                format!("note {} {server:?} {note:?}", self.id(*request))
+                format!("note {} {server:?} {update:?}", self.id(*request))
             }
             Event::AttemptEnded {
                 request,
                 attempt,
                 server,
                 outcome,
-                is_final: closed,
+                is_final,
                 report,
             } => {
                 let id = self.id(*request);
-                format!("ended {id} {attempt} {server:?} {outcome:?} closed {closed} {report:?}")
+                format!("ended {id} {attempt} {server:?} {outcome:?} closed {is_final} {report:?}")
             }
             Event::ClientLeft(request) => format!("left {}", self.id(*request)),
             other => format!("{other:?}"),
@@ -73,7 +78,7 @@
     r
 }
 
-fn ask(request: u64, class: u8, flags: u16) -> Vec<u8> {
+fn request_record(request: u64, class: u8, flags: u16) -> Vec<u8> {
     record(
         10,
         &[
@@ -92,7 +97,7 @@
     )
 }
 
-fn adopted(request: u64, class: u8, server: u32) -> Vec<u8> {
+fn adopted_record(request: u64, class: u8, server: u32) -> Vec<u8> {
     record(
         110,
         &[
@@ -112,14 +117,14 @@
     )
 }
 
-fn headers(request: u64, server: u32) -> Vec<u8> {
+fn established_record(request: u64, server: u32) -> Vec<u8> {
     record(
         60,
         &[&request.to_le_bytes(), &[0], &server.to_le_bytes(), &[0; 8]],
     )
 }
 
-fn notice(request: u64, server: u32, kind: u8, amount: f32) -> Vec<u8> {
+fn update_record(request: u64, server: u32, kind: u8, amount: f32) -> Vec<u8> {
     record(
         90,
         &[
@@ -132,7 +137,13 @@
     )
 }
 
-fn result(request: u64, server: u32, closed: bool, outcome: u16, x0: Option<f32>) -> Vec<u8> {
+fn result_record(
+    request: u64,
+    server: u32,
+    closed: bool,
+    outcome: u16,
+    x0: Option<f32>,
+) -> Vec<u8> {
     let n = u8::from(x0.is_some());
     record(
         50,
@@ -149,7 +160,7 @@
     )
 }
 
-fn entry(server: u32, phase: u8) -> Vec<u8> {
+fn list_entry(server: u32, phase: u8) -> Vec<u8> {
     let mut e = server.to_le_bytes().to_vec();
     e.extend([0, 0, 0, 0, 0, phase]);
     e.extend(1f32.to_le_bytes());
@@ -157,9 +168,9 @@
     e
 }
 
-/// Two frames for each event with a list: the list, and who is told of it.
+/// Two frames for each event with a list: the list, and the notification of it.
 fn from_the_wire(story: &[(Vec<u8>, Vec<u8>)]) -> Vec<String> {
-    let (mut plain, mut out, mut lists) = (Plain::default(), Vec::new(), BTreeMap::new());
+    let (mut event_text, mut out, mut lists) = (EventText::default(), Vec::new(), BTreeMap::new());
     for (number, (record, tail)) in story.iter().enumerate() {
         let mut frame = (number as u32).to_le_bytes().to_vec();
         frame.extend(7u64.to_le_bytes());
@@ -185,12 +196,12 @@
             }
             Record::Spawn { .. } | Record::Stop { .. } => continue,
         };
-        out.extend(plain.text(&event));
+        out.extend(event_text.text(&event));
     }
     out
 }
 
-fn list(kind: u8, entries: &[Vec<u8>]) -> [(Vec<u8>, Vec<u8>); 2] {
+fn list_records(kind: u8, entries: &[Vec<u8>]) -> [(Vec<u8>, Vec<u8>); 2] {
     let tail = entries.concat();
     let mut directory = vec![20u8, 0];
     directory.extend(0u32.to_le_bytes());
@@ -207,39 +218,39 @@
 
 // ---- the same story over sockets ----
 
-struct Tapped {
+struct ObservedNode {
     events: Receiver<String>,
-    heard: Vec<String>,
+    seen: Vec<String>,
 }
 
-impl Tapped {
-    fn start(servers: u32) -> (Rig, Tapped) {
-        let (tell, events) = channel();
-        let mut plain = Plain::default();
-        let tap = move |_, event: &Event| {
-            if let Some(text) = plain.text(event) {
-                let _ = tell.send(text); // The test may be over.
+impl ObservedNode {
+    fn start(servers: u32) -> (Harness, ObservedNode) {
+        let (sender, events) = channel();
+        let mut event_text = EventText::default();
+        let observer = move |_, event: &Event| {
+            if let Some(text) = event_text.text(event) {
+                let _ = sender.send(text); // The test may be over.
             }
         };
-        let rig = Rig::start_tapped(servers, |_| {}, Some(Box::new(tap)));
+        let harness = Harness::start_observed(servers, |_| {}, Some(Box::new(observer)));
         (
-            rig,
-            Tapped {
+            harness,
+            ObservedNode {
                 events,
-                heard: Vec::new(),
+                seen: Vec::new(),
             },
         )
     }
 
-    /// Waits until the module has heard something that begins like this.
+    /// Waits until the policy has got an event whose text begins like this.
     fn until(&mut self, begins: &str) {
         loop {
             let text = self
                 .events
                 .recv_timeout(LONG)
-                .unwrap_or_else(|_| panic!("no {begins:?}: {:?}", self.heard));
+                .unwrap_or_else(|_| panic!("no {begins:?}: {:?}", self.seen));
             let found = text.starts_with(begins);
-            self.heard.push(text);
+            self.seen.push(text);
             if found {
                 return;
             }
@@ -247,96 +258,105 @@
     }
 }
 
-#[test]
-fn the_module_hears_the_same_from_sockets_as_from_the_simulator() {
-    let (rig, mut tapped) = Tapped::start(1);
-    let mut viewer = rig.viewer();
-    let server = &rig.servers[0];
-    viewer.say(&set_up(tag(1), PAID, "-1", &format!(";at:{}", server.name)));
-    tapped.until("adopted");
-    let link = server.opened();
-    server.send(link, &note(tag(1), "at_rung", 1.0));
-    tapped.until("note 0");
-    // Comes again, is set up; the server tells of its link before it answers.
+/// Plays the story over sockets.
+fn play_over_sockets(harness: &Harness, observed: &mut ObservedNode) {
+    let mut viewer = harness.viewer();
+    let server = &harness.servers[0];
+    viewer.send_json(&set_up(tag(1), PAID, "-1", &format!(";at:{}", server.name)));
+    observed.until("adopted");
+    let link = server.wait_for_connection();
+    server.send(link, &session_update(tag(1), "at_rung", 1.0));
+    observed.until("note 0");
+    // A retry is set up; the server sends an update before its response.
     let mut again = set_up(tag(2), FREE, "15000", ";again:1");
     again["opts"]["retry"] = serde_json::json!("1");
-    viewer.say(&again);
-    let (_, conn, _) = rig.set_up();
-    server.send(conn, &note(tag(2), "link_use", 0.25));
-    server.send(conn, &stands(tag(2), "x"));
-    tapped.until("note 1");
-    server.send(conn, &note(tag(2), "served", 0.5));
-    tapped.until("note 1");
+    viewer.send_json(&again);
+    let (_, conn, _) = harness.next_set_up();
+    server.send(conn, &session_update(tag(2), "link_use", 0.25));
+    server.send(conn, &accepted(tag(2), "x"));
+    observed.until("note 1");
+    server.send(conn, &session_update(tag(2), "served", 0.5));
+    observed.until("note 1");
     server.send(conn, b"TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: 0000000000000002\r\nReason: cause=16\r\nX-State: x0:0.5;later:3\r\nContent-Length: 0\r\n\r\n");
-    tapped.until("ended 1");
-    // Paid, and refused as full with a report.
+    observed.until("ended 1");
+    // Paid, and rejected for lack of capacity with a load report.
     viewer.start(tag(3), PAID, 15_000);
-    let (_, conn, _) = rig.set_up();
+    let (_, conn, _) = harness.next_set_up();
     server.send(conn, &response(453, 1, tag(3), "X-State: x0:0.75\r\n", ""));
-    tapped.until("ended 2");
-    // Given up by its viewer.
+    observed.until("ended 2");
+    // Cancelled by its viewer.
     viewer.start(tag(4), PAID, 15_000);
-    rig.set_up();
+    harness.next_set_up();
     viewer.finish(tag(4), 16);
-    tapped.until("ended 3");
+    observed.until("ended 3");
     // The adopted one is cut.
     server.send(link, &rtsp::release(tag(1), 41));
-    tapped.until("ended 0");
+    observed.until("ended 0");
     for priority in [1, 2] {
-        rig.directory.tell(|told| {
-            told.serial += 1;
+        harness.directory.update(|state| {
+            state.serial += 1;
             match priority {
-                1 => told.lines[0].priority = 1,
-                _ => told.lines.clear(),
+                1 => state.servers[0].priority = 1,
+                _ => state.servers.clear(),
             }
         });
-        tapped.until("Delta");
+        observed.until("Delta");
     }
+}
 
+/// The same story as the simulator records it.
+fn simulator_records() -> Vec<(Vec<u8>, Vec<u8>)> {
     let at = 1;
-    let one = |record: Vec<u8>| vec![(record, Vec::new())];
-    let story = [
-        list(0, &[entry(at, 1)]).to_vec(),
-        one(adopted(70, 1, at)),
-        one(notice(70, at, 2, 1.0)),
-        one(ask(71, 0, 16)),
-        one(headers(71, at)),
-        one(notice(71, at, 3, 0.25)),
-        one(notice(71, at, 1, 0.5)),
-        one(result(71, at, true, 200, Some(0.5))),
-        one(ask(72, 1, 0)),
-        one(result(72, at, false, 503, Some(0.75))),
-        one(ask(73, 1, 0)),
-        one(record(100, &[&73u64.to_le_bytes()])),
-        one(result(73, at, true, 499, None)),
-        one(result(70, at, true, 598, None)),
-        list(1, &[entry(at, 2)]).to_vec(),
-        list(1, &[entry(at, 0)]).to_vec(),
-    ];
-    let told = from_the_wire(&story.concat());
-    assert_eq!(tapped.heard, told);
-    assert!(told[0].starts_with(&format!("{:?}", EndpointListKind::Cached)));
+    let single = |record: Vec<u8>| vec![(record, Vec::new())];
+    [
+        list_records(0, &[list_entry(at, 1)]).to_vec(),
+        single(adopted_record(70, 1, at)),
+        single(update_record(70, at, 2, 1.0)),
+        single(request_record(71, 0, 16)),
+        single(established_record(71, at)),
+        single(update_record(71, at, 3, 0.25)),
+        single(update_record(71, at, 1, 0.5)),
+        single(result_record(71, at, true, 200, Some(0.5))),
+        single(request_record(72, 1, 0)),
+        single(result_record(72, at, false, 503, Some(0.75))),
+        single(request_record(73, 1, 0)),
+        single(record(100, &[&73u64.to_le_bytes()])),
+        single(result_record(73, at, true, 499, None)),
+        single(result_record(70, at, true, 598, None)),
+        list_records(1, &[list_entry(at, 2)]).to_vec(),
+        list_records(1, &[list_entry(at, 0)]).to_vec(),
+    ]
+    .concat()
+}
+
+#[test]
+fn the_policy_gets_the_same_events_from_sockets_as_from_the_simulator() {
+    let (harness, mut observed) = ObservedNode::start(1);
+    play_over_sockets(&harness, &mut observed);
+    let expected = from_the_wire(&simulator_records());
+    assert_eq!(observed.seen, expected);
+    assert!(expected[0].starts_with(&format!("{:?}", EndpointListKind::Cached)));
 }
 
 #[test]
-fn a_connection_that_breaks_while_its_server_lives_is_no_death() {
-    let (rig, mut tapped) = Tapped::start(1);
-    let mut viewer = rig.viewer();
+fn a_connection_that_breaks_while_its_server_is_alive_is_a_server_error() {
+    let (harness, mut observed) = ObservedNode::start(1);
+    let mut viewer = harness.viewer();
     // Noise: who sends it is alive.
     viewer.start(tag(1), FREE, 15_000);
-    let (server, conn, _) = rig.set_up();
+    let (server, conn, _) = harness.next_set_up();
     server.send(conn, b"\x00\x01");
-    tapped.until("ended 0 0 ServerId(1) ServerError closed false");
+    observed.until("ended 0 0 ServerId(1) ServerError closed false");
     // Cut off, while another connection stands.
-    let (rig, mut tapped) = Tapped::start(1);
-    let mut viewer = rig.viewer();
+    let (harness, mut observed) = ObservedNode::start(1);
+    let mut viewer = harness.viewer();
     viewer.start(tag(1), PAID, 15_000);
-    let (server, first, _) = rig.set_up();
+    let (server, first, _) = harness.next_set_up();
     viewer.start(tag(2), PAID, 15_000);
-    let (_, second, _) = rig.set_up();
+    let (_, second, _) = harness.next_set_up();
     server.close(first);
-    tapped.until("ended 0 0 ServerId(1) ServerError closed false");
+    observed.until("ended 0 0 ServerId(1) ServerError closed false");
     // The last one: for all one knows the process died.
     server.close(second);
-    tapped.until("ended 1 0 ServerId(1) Reset closed false");
+    observed.until("ended 1 0 ServerId(1) Reset closed false");
 }
