--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -47,7 +47,7 @@
 #![allow(clippy::struct_excessive_bools)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
-mod choice;
+mod policy;
 mod interface;
-pub use choice::{benefit, best_regions, erlang_b, PlacementPolicy};
+pub use policy::{benefit, best_regions, erlang_b, PlacementPolicy};
 pub use interface::*;
