Policy: the decisions stand in a module for each concern

One impl of a thousand lines is split: state and look-ups, load, regions, admission, attempts, promotion, outliers, invariants; Erlang B and containers beside them. Session is a state machine, aggregates, estimates and constants have the field's names.

--- a/crates/front/src/core/mod.rs
+++ b/crates/front/src/core/mod.rs
@@ -199,8 +199,8 @@
     }
 
     /// What the module believes of each server: link and uplink asked over given, and whether it takes set-ups.
-    pub fn beliefs(&self, now: Time) -> Vec<(ServerId, f64, f64, bool)> {
-        self.front.beliefs(now)
+    pub fn beliefs(&self, now: Time) -> Vec<crankpaddle::ServerEstimate> {
+        self.front.server_estimates(now)
     }
 
     /// Requests that have no answer yet.
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -218,8 +218,14 @@
             self.decide();
             if tracing::enabled!(tracing::Level::TRACE) && now >= beliefs {
                 beliefs = now + SECOND / 2;
-                for (server, link, uplink, usable) in self.core.beliefs(Time(now)) {
-                    tracing::trace!(server = server.0, link, uplink, usable, "believed");
+                for estimate in self.core.beliefs(Time(now)) {
+                    tracing::trace!(
+                        server = estimate.server.0,
+                        link = estimate.link_fill,
+                        uplink = estimate.uplink_fill,
+                        usable = estimate.usable,
+                        "believed"
+                    );
                 }
             }
             if now >= tell {
--- /dev/null
+++ b/crates/policy/src/accounting.rs
@@ -0,0 +1,123 @@
+//! Upkeep of what is counted: sessions and their rates at servers, requests and arrivals. No choice is made here.
+use crate::admission::RECENT_REQUESTS;
+use crate::interface::{RequestId, SessionRequest, Time};
+use crate::policy_state::PlacementPolicy;
+use crate::state::{RequestKind, Server, Session};
+
+/// Whether a session's rate begins or ceases to count at its server.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Accounting {
+    Add,
+    Remove,
+}
+
+impl SessionRequest {
+    /// What its rate depends on.
+    pub(crate) fn kind(&self) -> RequestKind {
+        RequestKind { class: self.class, max_rung: self.max_rung }
+    }
+}
+
+impl PlacementPolicy {
+    /// Keeps a request as a session that is pending.
+    pub(crate) fn insert_session(&mut self, now: Time, request: SessionRequest) {
+        self.recent_requests.push_front(request.kind());
+        self.recent_requests.truncate(RECENT_REQUESTS);
+        let session =
+            Session { rung_set_at: now, next_promotion: now, started_at: now, request, ..Session::default() };
+        self.sessions.insert(session.request.request, session);
+    }
+
+    /// Counts an arrival, also at the servers that hold the title.
+    pub(crate) fn count_arrival(&mut self, request: &SessionRequest) {
+        let mut holders = self.holders(request);
+        holders.retain(|id| self.servers[id].is_up());
+        self.arrivals.requests += 1.0;
+        for id in &holders {
+            if let Some(server) = self.servers.get_mut(id) {
+                server.arrivals += 1.0 / holders.len() as f64;
+            }
+        }
+    }
+
+    /// Adds a session's rate to the load of its server and uplink, or removes it.
+    pub(crate) fn account_for(&mut self, now: Time, request: RequestId, accounting: Accounting) {
+        let Some(session) = self.sessions.get(&request) else { return };
+        let Some(id) = session.server() else { return };
+        let Some(server) = self.servers.get(&id) else { return };
+        let (rung, rate_kb) = (session.rung, self.rate_at(server, request, session));
+        let change = if accounting == Accounting::Add { rate_kb } else { -rate_kb };
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        server.own_rate_kb = (server.own_rate_kb + change).max(0.0);
+        self.fleet.own_rate_kb = (self.fleet.own_rate_kb + change).max(0.0);
+        if let Some(region_kb) = self.fleet.region_rate_kb.get_mut(usize::from(rung)) {
+            *region_kb += change;
+        }
+        match accounting {
+            Accounting::Add => server.sessions.insert(request),
+            Accounting::Remove => server.sessions.remove(&request),
+        };
+        server.link.add_own(now, change);
+        let group = &mut self.uplink_groups[server.uplink_group];
+        group.uplink.add_own(now, change);
+        group.link_demand_kb += change;
+    }
+
+    /// Rate of a session at a server, less if it shares a live stream there.
+    fn rate_at(&self, server: &Server, request: RequestId, session: &Session) -> f64 {
+        let rate_kb = self.rate_kb(session.request.class, session.rung);
+        if !self.class(session.request.class).is_some_and(|class| class.live) {
+            return rate_kb;
+        }
+        let stream = |session: &Session| (session.request.title, session.request.class, session.rung);
+        let shared = self
+            .sessions_at(server)
+            .any(|(other, there)| other != request && stream(there) == stream(session));
+        rate_kb * if shared { self.settings.shared_stream_factor } else { 1.0 }
+    }
+
+    /// Counts a session in the region of another rung.
+    pub(crate) fn move_to_region(&mut self, now: Time, request: RequestId, rung: u8) {
+        self.account_for(now, request, Accounting::Remove);
+        if let Some(session) = self.sessions.get_mut(&request) {
+            session.rung = rung;
+        }
+        self.account_for(now, request, Accounting::Add);
+    }
+
+    /// Mean rate factor of the classes of recent requests.
+    pub(crate) fn mean_rate_factor(&self) -> f64 {
+        let classes = self.recent_requests.iter().filter_map(|kind| self.class(kind.class));
+        let sum = classes.map(|class| class.rate_factor).sum::<f64>();
+        sum.max(1e-3) / self.recent_requests.len().max(1) as f64
+    }
+
+    /// Rates of our own sessions in each region, kB a second.
+    pub(crate) fn own_rate_by_region(&self) -> Vec<f64> {
+        let mut rates = vec![0.0; self.settings.rung_kb.len()];
+        for session in self.sessions.values().filter(|session| session.server().is_some()) {
+            if let Some(rate) = rates.get_mut(usize::from(session.rung)) {
+                *rate += self.rate_kb(session.request.class, session.rung);
+            }
+        }
+        rates
+    }
+
+    /// Evicts removed servers once nothing of them matters. Why: where servers are replaced all the time, memory
+    /// would grow without bound.
+    pub(crate) fn evict_removed(&mut self, now: Time) {
+        let (cells, sessions) = (&mut self.servers_by_cell, &self.sessions);
+        self.servers.retain(|id, server| {
+            let paused = now < server.slow_start_until.max(server.ejected_until);
+            if !server.is_removed() || !server.sessions.is_empty() || paused {
+                return true;
+            }
+            let mut executions = sessions.values().filter_map(|session| session.possible_execution);
+            if executions.any(|execution| execution.server == *id) {
+                return true;
+            }
+            cells.entry(server.endpoint.cell).or_default().remove(id);
+            false
+        });
+    }
+}
--- /dev/null
+++ b/crates/policy/src/attempts.rs
@@ -0,0 +1,104 @@
+//! What follows from the outcome of an attempt: for its server, for its session and for the request.
+use crate::accounting::Accounting;
+use crate::interface::{AttemptOutcome, RequestId, ServerId, SessionRequest, Time};
+use crate::policy::STALL;
+use crate::policy_state::PlacementPolicy;
+use crate::state::{Actions, EndedAttempt, PossibleExecution, SessionChange, SessionState};
+use crate::time::SECOND;
+
+const SETUP_TIME_WEIGHT: f64 = 0.05; // Weight of a new set-up time against the mean.
+const SETUP_TIME_MAX: f64 = SECOND as f64; // It counts for this at most, nanoseconds.
+
+impl PlacementPolicy {
+    /// Takes over a session that was established before this replica started.
+    pub(crate) fn session_adopted(&mut self, now: Time, request: SessionRequest, server: ServerId) {
+        let id = request.request;
+        if self.sessions.contains_key(&id) {
+            return;
+        }
+        let lowest = self.class(request.class).map_or(0, |class| class.min_rung);
+        self.insert_session(now, request);
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.state = SessionState::Established(server);
+            session.rung = lowest;
+        }
+        // It stands for the arrivals that it would be one of.
+        self.arrivals.requests += self.arrivals.seconds / self.mean_session_seconds();
+        self.account_for(now, id, Accounting::Add);
+    }
+
+    /// Takes the success of an attempt.
+    pub(crate) fn session_established(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        id: ServerId,
+        setup_time: u64,
+    ) {
+        let counted = (setup_time as f64).min(SETUP_TIME_MAX);
+        self.mean_setup_time += SETUP_TIME_WEIGHT * (counted - self.mean_setup_time);
+        if let Some(session) = self.sessions.get_mut(&request) {
+            if let SessionState::Attempting(server) = session.state {
+                session.state = SessionState::Established(server);
+            }
+            session.started_at = now;
+        }
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.record_success(now, self.settings.slow_start_duration);
+        }
+    }
+
+    /// Takes the end of an attempt: its session is over, or its request is attempted again or answered.
+    pub(crate) fn attempt_ended(&mut self, now: Time, ended: &EndedAttempt, actions: &mut Actions) {
+        let (request, id, outcome) = (ended.request, ended.server, ended.outcome);
+        let known = self.sessions.get(&request).is_some_and(|session| session.server() == Some(id));
+        self.record_outcome(now, id, outcome);
+        if !known {
+            return;
+        }
+        self.account_for(now, request, Accounting::Remove);
+        self.session_changes.push_back(SessionChange { at: now, sessions: -1.0 });
+        self.apply_report(now, id, &ended.report);
+        let Some(session) = self.sessions.get_mut(&request) else { return };
+        let was_established = session.is_established();
+        session.state = SessionState::Pending;
+        if session.possible_execution.is_none() && outcome.may_have_executed() {
+            session.possible_execution = Some(PossibleExecution { server: id, sent_at: session.rung_set_at });
+        }
+        let completed = outcome == AttemptOutcome::Completed;
+        if !(was_established || session.client_left || ended.is_final || completed) {
+            self.attempt_or_answer(now, request, false, actions);
+            return;
+        }
+        if was_established && completed {
+            self.completed_sessions += 1.0;
+        }
+        let session = self.sessions.remove(&request);
+        if let Some(session) = session.filter(|_| was_established && outcome == AttemptOutcome::Reset) {
+            // A lost session's viewer comes again: the title's other holders count it as an arrival at once.
+            self.count_arrival(&session.request);
+        }
+        self.promote(now, id, actions);
+    }
+
+    /// What an outcome shows of the server.
+    fn record_outcome(&mut self, now: Time, id: ServerId, outcome: AttemptOutcome) {
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        match outcome {
+            AttemptOutcome::ConnectFailed | AttemptOutcome::Reset => {
+                server.record_connection_failure(now, 2 * self.settings.slow_start_duration);
+                server.record_failure(now);
+            }
+            AttemptOutcome::ServerError => server.record_failure(now),
+            // Why: a replica that stood still finds time-outs that are its own.
+            AttemptOutcome::Timeout if now.since(self.stall_detected_at) > STALL => {
+                server.record_failure(now);
+            }
+            AttemptOutcome::Rejected => {
+                let least = self.settings.server_rejection_threshold.min(1.0);
+                server.link.fill = server.link.fill.max(least);
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -248,6 +248,13 @@
     NotSent,
 }
 
+impl AttemptOutcome {
+    /// Whether the server may have executed an attempt that ended like this.
+    pub(crate) fn may_have_executed(self) -> bool {
+        !matches!(self, AttemptOutcome::Rejected | AttemptOutcome::ConnectFailed | AttemptOutcome::NotSent)
+    }
+}
+
 /// A note on a playing session.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum SessionUpdate {
@@ -357,6 +364,19 @@
     },
 }
 
+/// What is estimated of a server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServerEstimate {
+    /// The server.
+    pub server: ServerId,
+    /// What is asked of its link over the link's capacity.
+    pub link_fill: f64,
+    /// The same of its uplink.
+    pub uplink_fill: f64,
+    /// Whether a set-up of an idempotent class may go there.
+    pub usable: bool,
+}
+
 /// What a front wants done, in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -47,7 +47,22 @@
 #![allow(clippy::struct_excessive_bools)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
-mod policy;
+mod accounting;
+mod admission;
+mod attempts;
+mod erlang;
 mod interface;
-pub use policy::{benefit, best_regions, erlang_b, PlacementPolicy};
+mod invariants;
+mod load;
+mod outliers;
+mod policy;
+mod policy_state;
+mod promotion;
+mod regions;
+mod slots;
+mod state;
+mod time;
+pub use erlang::{benefit, erlang_b};
 pub use interface::*;
+pub use policy_state::PlacementPolicy;
+pub use regions::best_regions;
--- a/crates/policy/tests/failures.rs
+++ b/crates/policy/tests/failures.rs
@@ -262,10 +262,10 @@
     }
     d.send(Event::EndpointList(EndpointListKind::Delta, vec![start(1, Lifecycle::Removed)]));
     tick(&mut d, 1);
-    let known: Vec<_> = d.front.beliefs(d.now).into_iter().map(|(id, ..)| id.0).collect();
+    let known: Vec<_> = d.front.server_estimates(d.now).into_iter().map(|e| e.server.0).collect();
     assert_eq!(known, [1, 500], "one with a session of ours stays until that ends");
     d.end(6, held, AttemptOutcome::Reset, true);
     tick(&mut d, 30);
-    let known: Vec<_> = d.front.beliefs(d.now).into_iter().map(|(id, ..)| id.0).collect();
+    let known: Vec<_> = d.front.server_estimates(d.now).into_iter().map(|e| e.server.0).collect();
     assert_eq!(known, [500], "it is forgotten when it could not be cold any more");
 }
--- a/crates/policy/tests/many_fronts.rs
+++ b/crates/policy/tests/many_fronts.rs
@@ -183,7 +183,7 @@
                 d.send(Event::Timer(0));
             }
         }
-        d.front.beliefs(d.now).into_iter().find(|(id, ..)| *id == server).expect("known").1
+        d.front.server_estimates(d.now).into_iter().find(|e| e.server == server).expect("known").link_fill
     };
     let (rush, calm) = (believed(false), believed(true));
     assert!(calm < 0.3, "as many end as begin: {calm}");
