--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -1,13 +1,11 @@
 //! Admission: where a request is set up and at which rung, or that it gets a final answer without an attempt.
-use crate::accounting::Accounting;
 use crate::interface::{
     Action, CrossZonePolicy, Idempotency, RequestId, RetryScope, ServerId, SessionRequest, Time,
 };
 use crate::load::LOW_MARK;
 use crate::outliers::slow_start_interval;
-use crate::policy_state::PlacementPolicy;
 use crate::regions::HEADROOM_MARK;
-use crate::state::{Actions, Offer, RequestKind, Server, SessionChange, SessionState};
+use crate::state::{Accounting, Actions, Offer, PlacementPolicy, RequestKind, Server, SessionChange};
 
 pub(crate) const RECENT_REQUESTS: usize = 100; // Requests whose class and rung are remembered.
 const HALF_SLOT: f64 = 0.5; // Rates are rough: a region counts as full half a slot later.
@@ -31,16 +29,11 @@
             self.refresh_aggregates(now);
             self.reprice();
         }
-        self.attempt_or_answer(now, id, over_quota, actions);
+        self.attempt_or_answer(id, over_quota, actions);
     }
 
     /// The rung, and so the region, that a server offers; `current` is the one that the session has there.
-    pub(crate) fn offered_rung(
-        &self,
-        request: &SessionRequest,
-        id: ServerId,
-        current: Option<u8>,
-    ) -> Option<u8> {
+    pub(crate) fn rung_for(&self, request: &SessionRequest, id: ServerId, current: Option<u8>) -> Option<u8> {
         let server = self.servers.get(&id)?;
         let class = self.class(request.class)?;
         let top = request.max_rung.min(class.max_rung).min(self.last_rung());
@@ -112,26 +105,21 @@
         })
     }
 
-    /// What a server offers to a request; beyond its tenant's quota the lowest rung, while the server is light.
+    /// A server's offer; to a request beyond its tenant's quota the lowest rung, while the server is light.
     fn offer(&self, request: &SessionRequest, id: ServerId, over_quota: bool) -> Option<Offer> {
         let server = self.servers.get(&id)?;
         let fill = self.link_fill(server).max(self.uplink_fill(server.uplink_group));
         let crosses = server.endpoint.zone != self.settings.zone;
         let crossing = if crosses { self.settings.cross_zone_price } else { 0.0 };
-        let offered = self.offered_rung(request, id, None)?;
+        let offered = self.rung_for(request, id, None)?;
         let rung = if over_quota { self.class(request.class)?.min_rung } else { offered };
         let admitted = !over_quota || fill <= LOW_MARK;
         admitted.then_some(Offer { server: id, rung, cost: fill + crossing })
     }
 
     /// Starts the next attempt of a request, or gives it its final answer.
-    pub(crate) fn attempt_or_answer(
-        &mut self,
-        now: Time,
-        request: RequestId,
-        over_quota: bool,
-        actions: &mut Actions,
-    ) {
+    pub(crate) fn attempt_or_answer(&mut self, request: RequestId, over_quota: bool, actions: &mut Actions) {
+        let now = self.now;
         let allowed = self.may_attempt(now, request);
         let chosen = if allowed { self.choose_server(now, request, over_quota) } else { None };
         match chosen {
@@ -147,17 +135,13 @@
         let usual = (class.latency_objective / 2).max((SETUPS_IN_TIMEOUT * self.mean_setup_time) as u64);
         let at_most_once = class.idempotency == Idempotency::AtMostOnce;
         let timeout = if at_most_once { 0 } else { usual.min(time_left) };
-        session.state = SessionState::Attempting(offer.server);
-        session.rung = offer.rung;
-        session.rung_set_at = now;
         if !session.attempted.is_empty() {
             self.retry_times.push_back(now);
         }
-        session.attempted.push(offer.server);
+        session.begin_attempt(now, offer.server, offer.rung);
         if let Some(server) = self.servers.get_mut(&offer.server) {
             let pause = slow_start_interval(&self.settings, server).min(self.settings.overload_window);
-            server.next_slow_start_attempt = now.plus(pause);
-            server.next_slot_start = now.plus(1);
+            server.use_slot(now, pause);
         }
         self.account_for(now, request, Accounting::Add);
         self.session_changes.push_back(SessionChange { at: now, sessions: 1.0 });
--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -1,10 +1,7 @@
 //! What follows from the outcome of an attempt: for its server, for its session and for the request.
-use crate::accounting::Accounting;
 use crate::interface::{AttemptOutcome, RequestId, ServerId, SessionRequest, Time};
 use crate::policy::STALL;
-use crate::policy_state::PlacementPolicy;
-use crate::state::{Actions, EndedAttempt, PossibleExecution, SessionChange, SessionState};
-use crate::time::SECOND;
+use crate::state::{Accounting, Actions, EndedAttempt, PlacementPolicy, SessionChange, SessionState, SECOND};
 
 const SETUP_TIME_WEIGHT: f64 = 0.05; // Weight of a new set-up time against the mean.
 const SETUP_TIME_MAX: f64 = SECOND as f64; // It counts for this at most, nanoseconds.
@@ -28,24 +25,14 @@
     }
 
     /// Takes the success of an attempt.
-    pub(crate) fn session_established(
-        &mut self,
-        now: Time,
-        request: RequestId,
-        id: ServerId,
-        setup_time: u64,
-    ) {
+    pub(crate) fn session_established(&mut self, request: RequestId, id: ServerId, setup_time: u64) {
         let counted = (setup_time as f64).min(SETUP_TIME_MAX);
         self.mean_setup_time += SETUP_TIME_WEIGHT * (counted - self.mean_setup_time);
         if let Some(session) = self.sessions.get_mut(&request) {
-            if let SessionState::Attempting(server) = session.state {
-                session.state = SessionState::Established(server);
-            }
-            session.started_at = now;
-        }
-        if let Some(server) = self.servers.get_mut(&id) {
-            server.record_success(now, self.settings.slow_start_duration);
+            session.establish(self.now);
         }
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        server.record_success(self.now, self.settings.slow_start_duration);
     }
 
     /// Takes the end of an attempt: its session is over, or its request is attempted again or answered.
@@ -61,13 +48,10 @@
         self.apply_report(now, id, &ended.report);
         let Some(session) = self.sessions.get_mut(&request) else { return };
         let was_established = session.is_established();
-        session.state = SessionState::Pending;
-        if session.possible_execution.is_none() && outcome.may_have_executed() {
-            session.possible_execution = Some(PossibleExecution { server: id, sent_at: session.rung_set_at });
-        }
+        session.end_attempt(id, outcome);
         let completed = outcome == AttemptOutcome::Completed;
         if !(was_established || session.client_left || ended.is_final || completed) {
-            self.attempt_or_answer(now, request, false, actions);
+            self.attempt_or_answer(request, false, actions);
             return;
         }
         if was_established && completed {
@@ -96,7 +80,7 @@
             }
             AttemptOutcome::Rejected => {
                 let least = self.settings.server_rejection_threshold.min(1.0);
-                server.link.fill = server.link.fill.max(least);
+                server.link.raise_to(least);
             }
             _ => {}
         }
--- /dev/null
+++ b/crates/policy/src/interface/mod.rs
@@ -0,0 +1,15 @@
+//! What goes into a [`PlacementPolicy`](crate::PlacementPolicy) and what comes out of it. No choice is made here.
+//!
+//! Times and durations are in nanoseconds, rates in kB a second; rungs count from 0, the lowest.
+mod action;
+mod endpoint;
+mod event;
+mod ids;
+mod load_report;
+mod settings;
+pub use action::Action;
+pub use endpoint::{CrossZonePolicy, Endpoint, EndpointListKind, Lifecycle};
+pub use event::{AttemptOutcome, Event, SessionRequest, SessionUpdate};
+pub use ids::{RequestId, ServerId, Time};
+pub use load_report::{LoadField, LoadReport, ServerEstimate};
+pub use settings::{Class, Idempotency, RetryScope, Settings};
--- a/crates/policy/src/invariants.rs
+++ b/crates/policy/src/invariants.rs
@@ -1,12 +1,11 @@
 //! Guards on attempts: whatever was chosen, they bound what may be sent, when and where.
-use crate::interface::{Class, Idempotency, Lifecycle, RequestId, RetryScope, Time};
+use crate::interface::{Class, Idempotency, Lifecycle, RequestId, RetryScope, SessionRequest, Time};
 use crate::outliers::admission_slot;
-use crate::policy_state::PlacementPolicy;
-use crate::state::{Server, Session, SessionState};
+use crate::state::{PlacementPolicy, Server, Session, SessionState};
 
 impl PlacementPolicy {
-    /// Whether an attempt that was decided and is not sent yet, as one that waits for its connection, may still be
-    /// sent: its server takes new work, and neither its admission slot in slow start nor its time has passed.
+    /// Whether an attempt that waits for its connection may still be sent: its server takes new work, and its
+    /// admission slot in slow start and its time have not passed.
     pub fn may_send(&self, now: Time, request: RequestId) -> bool {
         let Some(session) = self.sessions.get(&request) else { return false };
         if session.client_left || now >= session.request.deadline {
@@ -14,15 +13,12 @@
         }
         let Some(id) = session.server() else { return false };
         let Some(server) = self.servers.get(&id) else { return false };
-        let in_slot = || {
-            let slot = admission_slot(&self.settings, server, id, now);
-            slot.is_some_and(|start| start <= session.rung_set_at)
-        };
+        let slot = || admission_slot(&self.settings, server, id, now);
+        let in_slot = || slot().is_some_and(|start| start <= session.rung_set_at);
         server.endpoint.lifecycle == Lifecycle::Ready && (now >= server.slow_start_until || in_slot())
     }
 
-    /// Whether a request may be attempted: one attempt at a time, in time, within the limits, and no second one
-    /// where the first may have been executed.
+    /// Whether a request may be attempted: one attempt at a time, in time, within limits, run once only.
     pub(crate) fn may_attempt(&mut self, now: Time, request: RequestId) -> bool {
         let window_start = now.0.saturating_sub(self.settings.retry_budget_window);
         self.request_times.retain(|at| at.0 >= window_start);
@@ -33,17 +29,15 @@
         waiting
             && now < session.request.deadline
             && may_execute_again(now, class, session)
-            && self.title_has_seat(class, session)
+            && self.title_has_seat(class, &session.request)
             && session.attempted.len() < self.settings.max_attempts.max(1) as usize
             && (session.attempted.is_empty() || self.retry_budget_left())
     }
 
     /// Whether the cap on sessions of one title leaves a place.
-    fn title_has_seat(&self, class: &Class, session: &Session) -> bool {
-        let title = |session: &Session| (session.request.class, session.request.title);
-        let placed = self.sessions.values().filter(|other| other.server().is_some());
-        let seats_taken = placed.filter(|other| title(other) == title(session));
-        class.max_sessions_per_title == 0 || seats_taken.count() < class.max_sessions_per_title as usize
+    fn title_has_seat(&self, class: &Class, request: &SessionRequest) -> bool {
+        let seats = class.max_sessions_per_title as usize;
+        seats == 0 || self.sessions_of_title(request.class, request.title) < seats
     }
 
     fn retry_budget_left(&self) -> bool {
@@ -56,13 +50,10 @@
     pub(crate) fn in_retry_scope(&self, session: &Session, server: &Server) -> bool {
         let Some(execution) = session.possible_execution else { return true };
         let Some(first) = self.servers.get(&execution.server) else { return true };
+        let (first, other) = (&first.endpoint, &server.endpoint);
         match self.class(session.request.class).map(|class| class.idempotency) {
-            Some(Idempotency::IdempotentWithin(RetryScope::Zone)) => {
-                first.endpoint.zone == server.endpoint.zone
-            }
-            Some(Idempotency::IdempotentWithin(RetryScope::Cell)) => {
-                first.endpoint.cell == server.endpoint.cell
-            }
+            Some(Idempotency::IdempotentWithin(RetryScope::Zone)) => first.zone == other.zone,
+            Some(Idempotency::IdempotentWithin(RetryScope::Cell)) => first.cell == other.cell,
             _ => true,
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,17 +1,23 @@
 //! Session placement and quality decisions for fleets of media servers.
 //!
-//! A [`PlacementPolicy`] makes the decisions of one session controller: where a viewer's session is set up, at which rung of
-//! the ladder of rates, when it is raised, and when a request is rejected. It is pure: it reads no clock, does no
-//! I/O and starts no threads. The embedder tells it what happens, by [`PlacementPolicy::handle`], and carries out the
-//! [`Action`]s that it adds to the list, in order. The same events give the same actions.
+//! A [`PlacementPolicy`] makes the decisions of one session controller: at which server a viewer's session is set up, at
+//! which rung of the ladder of rates, when it is promoted or demoted, and when a request is rejected. It is pure: it
+//! reads no clock, does no I/O and starts no threads. The embedder reports each [`Event`] to
+//! [`PlacementPolicy::handle`] and carries out the [`Action`]s that it adds to the list, in order. The same events
+//! give the same actions.
+//!
+//! The decisions and tuned values stand in the modules that `deploy/balancer.toml` lists as `policy`: `policy`
+//! (events, each second), `load` (estimates), `regions` (sizing), `admission`, `attempts` (outcomes), `promotion`
+//! (and relief), `outliers` (ejection, slow start), `invariants` (guards). Beside them: `erlang` (loss queues), `state`
+//! (containers), `interface` (events and actions).
 //!
 //! - Send a [`Event::EndpointList`] before the first request; a server that no list named is never used.
-//! - Each [`Event::SessionRequested`] is answered at once by an attempt or by a final answer. While an attempt is out, the front
+//! - Each [`Event::SessionRequested`] leads at once to an attempt or to a final answer. While an attempt is out, the policy
 //!   waits for its [`Event::SessionEstablished`] or [`Event::AttemptEnded`]; attempts of a request are numbered from 0.
-//! - Every attempt ends with exactly one [`Event::AttemptEnded`], for a session that played when it stops playing.
-//! - Call [`Event::Timer`] when an [`Action::SetTimer`] asks for it: regions are sized and sessions raised then.
+//! - Every attempt ends with exactly one [`Event::AttemptEnded`], for an established session when it ends.
+//! - Call [`Event::Timer`] when an [`Action::SetTimer`] is due: regions are sized and sessions promoted then.
 //! - Events about unknown or closed requests or unknown servers, numbers that are not finite and a clock that
-//!   stands still are allowed: they change nothing that matters, break no rule and cause no panic.
+//!   does not advance are allowed: they break no guard and cause no panic.
 //!
 //! ```
 //! use crankpaddle::*;
@@ -44,10 +50,8 @@
 //! policy.handle(now, Event::SessionRequested(request), &mut actions);
 //! assert!(matches!(actions.last(), Some(Action::StartAttempt { server: ServerId(7), .. })));
 //! ```
-#![allow(clippy::struct_excessive_bools)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
-mod accounting;
 mod admission;
 mod attempts;
 mod erlang;
@@ -56,13 +60,10 @@
 mod load;
 mod outliers;
 mod policy;
-mod policy_state;
 mod promotion;
 mod regions;
-mod slots;
 mod state;
-mod time;
 pub use erlang::{benefit, erlang_b};
 pub use interface::*;
-pub use policy_state::PlacementPolicy;
 pub use regions::best_regions;
+pub use state::PlacementPolicy;
--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -1,10 +1,10 @@
-//! Estimates of load: what is asked of links and uplinks over their capacity, from measurements and own changes.
+//! Estimates of load: what is asked of links and uplinks, from measurements and own changes.
 use crate::interface::{LoadField, LoadReport, RequestId, ServerId, SessionUpdate, Time};
-use crate::policy_state::PlacementPolicy;
-use crate::state::{Actions, FleetAggregates, LoadEstimate, OwnChange, Server, ShortDelivery};
-use crate::time::SECOND;
+use crate::state::{
+    FleetAggregates, LoadEstimate, OwnChange, PlacementPolicy, Server, ShortDelivery, SECOND,
+};
 
-pub(crate) const LOW_MARK: f64 = 0.8; // Below this fill of link and uplink the highest rung that fits is given.
+pub(crate) const LOW_MARK: f64 = 0.8; // Fill of link and uplink below which the best rung that fits is given.
 const DEMAND_OVER_OWN_MIN: f64 = 0.7; // Bounds of the demand of all over ours, times the number of replicas.
 const DEMAND_OVER_OWN_MAX: f64 = 1.4;
 const STALE_AFTER: f64 = 6.0; // Seconds after which a measurement begins to give way to the mean.
@@ -14,11 +14,11 @@
 const MEASUREMENT_WEIGHT: f64 = 0.8; // Weight of a new measurement against the estimate.
 const SUDDEN_CHANGE: f64 = 0.3; // A measurement further off than this replaces the estimate.
 const MAX_COUNTED_FILL: f64 = 1.2; // Fill of a link beyond which demand counts no more in the aggregates.
-const RUSH: u64 = 3 * SECOND; // Begins and ends of sessions are counted for so long to see a rush, nanoseconds.
+const RUSH: u64 = 3 * SECOND; // Begins and ends of sessions are counted for so long, nanoseconds.
 const RUSH_SECONDS: f64 = RUSH as f64 / SECOND as f64;
 const UPDATE_AT_SETUP: u64 = SECOND / 3; // An update this soon after the set-up is fresh, nanoseconds.
 const FULL_DELIVERY: f64 = 0.98; // Part of the rate from which a delivery is not short.
-const FAULTY_DELIVERY: f64 = 0.75; // Part of the rate below which a link with headroom tells of a faulty server.
+const FAULTY_DELIVERY: f64 = 0.75; // Part of the rate below which the server is at fault, not the link.
 const LEAST_DELIVERY: f64 = 0.3; // A link's fill is taken for the reciprocal of this at most.
 const SHORT_DELIVERY_LASTS: u64 = 3 * SECOND; // It is over when it was not reported for so long, nanoseconds.
 const LINK_EXPLAINS: f64 = 0.93; // Fill times delivery, at most which the link is not what falls short.
@@ -78,9 +78,7 @@
         let Some(server) = self.servers.get_mut(&id) else { return };
         for &(field, value) in report {
             match field {
-                LoadField::LinkUtilization if value >= SATURATED_UTILIZATION => {
-                    server.link.fill = server.link.fill.max(1.0);
-                }
+                LoadField::LinkUtilization if value >= SATURATED_UTILIZATION => server.link.raise_to(1.0),
                 LoadField::LinkDemand | LoadField::LinkUtilization => {
                     server.measure_link(now, value, REPORT_AGE);
                 }
@@ -119,19 +117,16 @@
 
     fn refresh_uplink_groups(&mut self) {
         for group in &mut self.uplink_groups {
-            group.link_capacity_kb = 0.0;
-            group.link_demand_kb = 0.0;
+            group.clear_links();
         }
         for server in self.servers.values().filter(|server| server.is_up()) {
             let demand = self.link_fill(server).min(MAX_COUNTED_FILL) * server.link.capacity_kb;
-            let group = &mut self.uplink_groups[server.uplink_group];
             self.fleet.servers_up += 1.0;
-            group.link_capacity_kb += server.link.capacity_kb;
-            group.link_demand_kb += demand;
+            self.uplink_groups[server.uplink_group].add_link(server.link.capacity_kb, demand);
         }
     }
 
-    /// Growth of the fill of all links, from our own sessions' begins less ends and what chance makes of them.
+    /// Growth of the fill of all links: our own sessions' begins less ends, and less what chance brings.
     fn measured_growth(&mut self, now: Time) -> f64 {
         self.session_changes.retain(|change| now.since(change.at) < RUSH);
         let net: f64 = self.session_changes.iter().map(|change| change.sessions).sum();
@@ -140,16 +135,13 @@
         growth_kb / self.settings.fleet_link_kb.max(1.0) / RUSH_SECONDS
     }
 
-    /// Fill of a server's link. One without a measurement counts as the mean, [`LOW_MARK`] at most. Why: it is
-    /// measured only when set-ups go there.
+    /// Fill of a server's link; without a measurement the mean, 0.8 at most, so that it gets set-ups.
     pub(crate) fn link_fill(&self, server: &Server) -> f64 {
         let own = server.own_rate_kb / server.link.capacity_kb;
         let estimate = server.link.faded(self.last_tick, self.fleet.mean_link_fill.min(LOW_MARK));
         // Departure: in a rush every replica's sessions since the measurement count; ours tell how many.
-        let age = server
-            .link
-            .measured_at
-            .map_or(1.0, |measured_at| self.now.seconds_since(measured_at).min(RUSH_SECONDS));
+        let age_at = |measured_at| self.now.seconds_since(measured_at).min(RUSH_SECONDS);
+        let age = server.link.measured_at.map_or(1.0, age_at);
         (estimate + self.fleet.fill_growth * age).max(own)
     }
 
@@ -162,15 +154,9 @@
         }
     }
 
-    /// Takes an update on a session of ours, and relieves its server if it is overrun.
-    pub(crate) fn session_updated(
-        &mut self,
-        now: Time,
-        request: RequestId,
-        id: ServerId,
-        update: SessionUpdate,
-        actions: &mut Actions,
-    ) {
+    /// Takes an update on a session of ours.
+    pub(crate) fn session_updated(&mut self, request: RequestId, id: ServerId, update: SessionUpdate) {
+        let now = self.now;
         let session = self.sessions.get(&request);
         let at_setup = session.is_some_and(|session| now.since(session.started_at) < UPDATE_AT_SETUP);
         let age = if at_setup { 0 } else { self.settings.update_delay };
@@ -187,10 +173,9 @@
             }
             SessionUpdate::DeliveryRatio(ratio) => self.delivery_reported(now, id, ratio),
         }
-        self.relieve(now, id, actions);
     }
 
-    /// Takes a delivery ratio: a short one is put down to the link, unless a measurement since shows headroom.
+    /// A short delivery is put down to the link, unless a measurement since it began shows headroom.
     fn delivery_reported(&mut self, now: Time, id: ServerId, ratio: f64) {
         let Some(server) = self.servers.get_mut(&id) else { return };
         let lasting =
@@ -202,7 +187,7 @@
         }
         let unmeasured = server.link.measured_at.is_none_or(|measured_at| measured_at <= since);
         if unmeasured || server.link.fill * ratio > LINK_EXPLAINS {
-            server.link.fill = server.link.fill.max(1.0 / ratio.max(LEAST_DELIVERY));
+            server.link.raise_to(1.0 / ratio.max(LEAST_DELIVERY));
         } else if ratio < FAULTY_DELIVERY {
             // Why: a server that hangs or delivers too little for a cause of its own still accepts set-ups.
             server.record_failure(now);
--- a/crates/policy/src/outliers.rs
+++ b/crates/policy/src/outliers.rs
@@ -1,9 +1,7 @@
 //! Servers that fail or warm up: ejection, trials, and admission slots during slow start.
 use crate::interface::{Lifecycle, ServerId, Settings, Time};
-use crate::policy_state::PlacementPolicy;
 use crate::regions::MAX_PLACES;
-use crate::state::Server;
-use crate::time::SECOND;
+use crate::state::{PlacementPolicy, Server, SECOND};
 
 const EJECTION_MIN: u64 = SECOND; // First ejection of a server that failed, nanoseconds.
 const EJECTION_MAX: u64 = 8 * SECOND; // It doubles with each up to this.
@@ -13,17 +11,16 @@
 const STUCK_MIN: f64 = 0.3 * SECOND as f64; // ... but not before this time, nanoseconds.
 
 impl Server {
-    /// Records a failure: the server is ejected, longer each time; then it gets trials by idempotent classes until
-    /// several succeed in a row.
+    /// Records a failure: the server is ejected, longer each time, then on trial with idempotent classes.
     pub(crate) fn record_failure(&mut self, now: Time) {
         self.trials_left = TRIALS;
         if now < self.ejected_until {
             return;
         }
         let recovered = now.since(self.last_ejected_at) > 2 * EJECTION_MAX;
-        let doubled = if recovered { 0 } else { self.ejection_duration * 2 };
+        let longer = if recovered { 0 } else { self.ejection_duration * 2 };
         self.last_ejected_at = now;
-        self.ejection_duration = doubled.clamp(EJECTION_MIN, EJECTION_MAX);
+        self.ejection_duration = longer.clamp(EJECTION_MIN, EJECTION_MAX);
         self.ejected_until = now.plus(self.ejection_duration);
     }
 
@@ -48,8 +45,7 @@
 }
 
 impl PlacementPolicy {
-    /// Whether a set-up may go to a server: it is ready, not ejected, not stuck, and neither a trial nor an admission
-    /// slot stands against it.
+    /// Whether a set-up may go to a server now: ready, not ejected or stuck, and no trial or slot forbids it.
     pub(crate) fn is_usable(&self, now: Time, id: ServerId, idempotent: bool) -> bool {
         let Some(server) = self.servers.get(&id) else { return false };
         if server.endpoint.lifecycle != Lifecycle::Ready || now < server.ejected_until {
@@ -62,9 +58,7 @@
         }
         let patience = (STUCK_SETUPS * self.mean_setup_time).max(STUCK_MIN) as u64;
         // Why: attempts that waited while we stood still ourselves are not the server's fault.
-        let stuck = in_flight()
-            .any(|(_, session)| now.since(session.rung_set_at.max(self.stall_detected_at)) > patience);
-        !stuck
+        !in_flight().any(|(_, session)| now.since(session.rung_set_at.max(self.stall_detected_at)) > patience)
     }
 
     /// Whether a server is in slow start and this replica has no admission slot that it may use now.
@@ -77,8 +71,8 @@
     }
 }
 
-/// Nanoseconds between a replica's admission slots at a server in slow start, its progress taken at the least: so long
-/// that the slots of all replicas that meet any window of the rule are what the rule allows in it, and one more at most.
+/// Nanoseconds between a replica's admission slots at a server in slow start: all replicas' slots that meet a
+/// window of the rule are what the rule allows in it, and one more at most.
 pub(crate) fn slow_start_interval(settings: &Settings, server: &Server) -> u64 {
     let setups_per_nanosecond = server.stream_capacity.min(MAX_PLACES)
         / settings.slow_start_duration.max(1) as f64
@@ -88,10 +82,9 @@
     (replicas * SLOTS_IN_WINDOW / setups_per_nanosecond.max(1e-12)) as u64
 }
 
-/// When this replica's present admission slot at a server in slow start began, if it is in one: a set-up in each, for
-/// the rule's window from its begin. Why: slots counted from each replica's own last set-up drift until they meet, and
-/// unused ones that are kept add up; so they lie on one grid from the start that the list states, evenly spread over
-/// the replicas. The price: many replicas leave a server in slow start idle.
+/// When this replica's present admission slot at a server in slow start began, if it is in one; each allows a
+/// set-up. Why: slots counted from each replica's own set-ups drift until they meet; so all are on one grid
+/// from the start that the list states. The price: many replicas leave a server in slow start idle.
 pub(crate) fn admission_slot(settings: &Settings, server: &Server, id: ServerId, now: Time) -> Option<Time> {
     let replicas = u64::from(settings.replica_count.max(1));
     let interval = slow_start_interval(settings, server).max(1);
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1,18 +1,12 @@
 //! What one session controller does on each event and each second.
-//!
-//! Each replica splits every link into slot regions, one a rung, sized by a loss-queue model of the arrivals; it admits
-//! top-down with spill-over and promotes lower sessions when slots free.
-use crate::interface::{Action, Endpoint, EndpointListKind, Event, Lifecycle, ServerId, Time};
-use crate::policy_state::PlacementPolicy;
+use crate::interface::{Action, Endpoint, EndpointListKind, Event, Time};
 use crate::regions::REPRESENTATIVE_SESSIONS;
-use crate::state::{Actions, EndedAttempt};
-use crate::time::SECOND;
-use std::collections::BTreeSet;
+use crate::state::{Actions, EndedAttempt, PlacementPolicy, SECOND};
 
 pub(crate) const STALL: u64 = SECOND / 2; // A timer later than this shows that we stood still, nanoseconds.
 pub(crate) const INITIAL_SESSION_SECONDS: f64 = 30.0; // Length of a session assumed at first ...
 pub(crate) const INITIAL_COMPLETED: f64 = 3.0; // ... and the completed sessions that it counts for.
-pub(crate) const INITIAL_SETUP_TIME: f64 = 0.15 * SECOND as f64; // Time of a set-up assumed at first, nanoseconds.
+pub(crate) const INITIAL_SETUP_TIME: f64 = 0.15 * SECOND as f64; // Set-up time assumed at first, nanoseconds.
 pub(crate) const ARRIVAL_SECONDS: f64 = 15.0; // Arrivals count for so many seconds ...
 const ARRIVAL_REQUESTS: f64 = 10.0; // ... or until so many have come.
 
@@ -21,14 +15,15 @@
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         self.advance_clock(now, actions);
         match event {
-            Event::EndpointList(kind, entries) => self.endpoints_listed(now, kind, entries, actions),
+            Event::EndpointList(kind, entries) => self.endpoints_listed(kind, entries, actions),
             Event::SessionRequested(request) => self.handle_request(now, request, actions),
             Event::SessionAdopted(request, server) => self.session_adopted(now, request, server),
             Event::SessionEstablished { request, server, setup_time, .. } => {
-                self.session_established(now, request, server, setup_time);
+                self.session_established(request, server, setup_time);
             }
             Event::SessionUpdated { request, server, update } => {
-                self.session_updated(now, request, server, update, actions);
+                self.session_updated(request, server, update);
+                self.relieve(now, server, actions);
             }
             Event::AttemptEnded { request, server, outcome, is_final, report, .. } => {
                 let ended = EndedAttempt { request, server, outcome, is_final, report };
@@ -37,14 +32,8 @@
             Event::CrossZonePolicyChanged { zone, class, policy } => {
                 self.cross_zone_policies.insert((zone, class), policy);
             }
-            Event::MaxRungChanged { request, max_rung } => {
-                self.max_rung_changed(now, request, max_rung, actions);
-            }
-            Event::ClientLeft(request) => {
-                if let Some(session) = self.sessions.get_mut(&request) {
-                    session.client_left = true;
-                }
-            }
+            Event::MaxRungChanged { request, max_rung } => self.max_rung_changed(request, max_rung, actions),
+            Event::ClientLeft(request) => self.client_left(request),
             Event::Timer(_) => self.tick(now, actions),
             Event::HealthCheckCompleted { server, report, .. } => self.apply_report(now, server, &report),
             Event::ReplicaCountChanged(count) => self.settings.replica_count = count,
@@ -69,13 +58,8 @@
     }
 
     /// Takes an endpoint list.
-    fn endpoints_listed(
-        &mut self,
-        now: Time,
-        kind: EndpointListKind,
-        entries: Vec<Endpoint>,
-        actions: &mut Actions,
-    ) {
+    fn endpoints_listed(&mut self, kind: EndpointListKind, entries: Vec<Endpoint>, actions: &mut Actions) {
+        let now = self.now;
         if kind == EndpointListKind::Failed {
             if self.settings.discovery_on_request && now.since(self.endpoints_refreshed_at) > SECOND {
                 self.endpoints_refreshed_at = now;
@@ -85,10 +69,7 @@
         }
         self.endpoints_refreshed_at = now;
         if kind != EndpointListKind::Delta {
-            let listed: BTreeSet<ServerId> = entries.iter().map(|endpoint| endpoint.server).collect();
-            for (_, server) in self.servers.iter_mut().filter(|(id, _)| !listed.contains(id)) {
-                server.endpoint.lifecycle = Lifecycle::Removed;
-            }
+            self.remove_unlisted(&entries);
         }
         for endpoint in entries {
             self.update_endpoint(now, endpoint);
@@ -107,10 +88,7 @@
         server.stream_capacity = capacity.map_or(f64::INFINITY, |streams| f64::from(*streams));
         let slow_start_until = endpoint.started_at.plus(self.settings.slow_start_duration);
         if endpoint.started_at > server.endpoint.started_at && slow_start_until > now {
-            server.slow_start_until = slow_start_until.max(server.slow_start_until);
-            server.connection_failed = false;
-            server.ejected_until = now;
-            server.next_slot_start = now;
+            server.restarted(now, slow_start_until);
         }
         self.servers_by_cell.entry(server.endpoint.cell).or_default().remove(&endpoint.server);
         self.servers_by_cell.entry(endpoint.cell).or_default().insert(endpoint.server);
@@ -153,8 +131,7 @@
         let rate = self.arrivals.requests / self.arrivals.seconds.max(1.0);
         let by_time = 1.0 / (ARRIVAL_SECONDS * self.pause_factor());
         let factor = (-elapsed * by_time.min(rate / ARRIVAL_REQUESTS)).exp();
-        self.arrivals.requests *= factor;
-        self.arrivals.seconds = self.arrivals.seconds * factor + elapsed;
+        self.arrivals.decay(factor, elapsed);
         for server in self.servers.values_mut() {
             server.arrivals *= factor;
         }
--- a/crates/policy/src/promotion.rs
+++ b/crates/policy/src/promotion.rs
@@ -1,8 +1,6 @@
 //! Promotion of sessions to higher rungs where slots are free, and demotion where a link is overrun.
 use crate::interface::{Action, CrossZonePolicy, RequestId, ServerId, Time};
-use crate::policy_state::PlacementPolicy;
-use crate::state::{Actions, Demotion, Server, Session};
-use crate::time::SECOND;
+use crate::state::{Actions, Demotion, PlacementPolicy, Server, Session, SECOND};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
@@ -15,14 +13,13 @@
 const HEAVY_OVERRUN: f64 = 1.5; // Fill beyond which sessions are demoted by more than one rung.
 
 impl PlacementPolicy {
-    /// How often a promotion of ours happens: once for each replica that receives the same measurement, once for
-    /// each stream there at most.
+    /// Promotions like one of ours: one a replica that receives the same measurement, one a stream at most.
     pub(crate) fn concurrent_promotions(&self, server: &Server) -> f64 {
         self.streams(server).min(f64::from(self.settings.replica_count)).max(1.0)
     }
 
-    /// Departure: a promotion that fits only if few act alike is made with the probability that fills the headroom.
-    /// Why: many replicas with a session each would promote nothing. If too many act by chance, relief follows.
+    /// Departure: a promotion that fits only if few act alike is made with the probability that fills it.
+    /// Why: many replicas with a session each would promote nothing. If too many act, relief follows.
     fn promoted_by_chance(&mut self, id: ServerId, request: RequestId) -> Option<u8> {
         let server = self.servers.get(&id)?;
         let session = self.sessions.get(&request)?;
@@ -55,7 +52,7 @@
         for (_, _, request) in waiting {
             let Some(session) = self.sessions.get(&request) else { continue };
             let current = session.rung;
-            let offered = self.offered_rung(&session.request, id, Some(current));
+            let offered = self.rung_for(&session.request, id, Some(current));
             let promoted = match offered.filter(|rung| *rung > current) {
                 Some(rung) => Some(rung),
                 // Chance counts once for each measurement, but is drawn in any case.
@@ -67,7 +64,7 @@
         }
     }
 
-    /// Whether a session may be promoted: it is active, its pause is over and what is left of it repays the change.
+    /// Whether a session is active, its pause is over and what is left of it repays a promotion.
     fn may_promote(&self, now: Time, server: &Server, session: &Session) -> bool {
         let repays = |duration: u64| {
             let left = session.started_at.plus(duration).seconds_since(now);
@@ -90,25 +87,17 @@
     }
 
     /// Changes a session's highest rung. One that is demoted here waits its pause before it may be promoted.
-    pub(crate) fn max_rung_changed(
-        &mut self,
-        now: Time,
-        request: RequestId,
-        max_rung: u8,
-        actions: &mut Actions,
-    ) {
+    pub(crate) fn max_rung_changed(&mut self, request: RequestId, max_rung: u8, actions: &mut Actions) {
         let Some(session) = self.sessions.get(&request) else { return };
         let top = max_rung.max(self.class(session.request.class).map_or(0, |class| class.min_rung));
-        let demoted = session.is_active() && session.rung > top;
-        if let Some(session) = self.sessions.get_mut(&request) {
-            session.request.max_rung = top;
-        }
-        if demoted {
-            self.set_rung(now, request, top, self.scaled_pause(DEMOTION_PAUSE), actions);
+        let Some(session) = self.sessions.get_mut(&request) else { return };
+        session.request.max_rung = top;
+        if session.is_active() && session.rung > top {
+            self.set_rung(self.now, request, top, self.scaled_pause(DEMOTION_PAUSE), actions);
         }
     }
 
-    /// Departure: where a link or uplink is measured to be overrun, each replica demotes its part of the excess.
+    /// Departure: where a link or uplink is overrun, each replica demotes its part of the excess.
     pub(crate) fn relieve(&mut self, now: Time, id: ServerId, actions: &mut Actions) {
         let Some(server) = self.servers.get(&id) else { return };
         let fill = self.link_fill(server).max(self.uplink_fill(server.uplink_group));
@@ -121,9 +110,8 @@
             self.set_rung(now, request, rung, self.scaled_pause(DEMOTION_PAUSE), actions);
         }
         let pause = self.settings.update_delay.saturating_add(SECOND);
-        if let Some(server) = self.servers.get_mut(&id) {
-            server.next_relief = now.plus(pause);
-        }
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        server.next_relief = now.plus(pause);
     }
 
     /// Demotions of the sessions at a server, those that lose least for each kB first.
--- a/crates/policy/src/regions.rs
+++ b/crates/policy/src/regions.rs
@@ -1,13 +1,11 @@
-//! Slot regions of a link, one a rung: how they are sized, and which rung repays its rate.
-//!
-//! They are sized by a loss-queue model of the arrivals; see `docs/design.md`.
+//! Slot regions of a link, one a rung: how they are sized by the loss queues, and which rung repays its rate.
 use crate::erlang::{benefit, benefits};
 use crate::interface::{ServerId, Time};
 use crate::policy::INITIAL_SESSION_SECONDS;
-use crate::policy_state::PlacementPolicy;
-use crate::slots::{log_step, step_value, RegionKey, SlotBudget, Split, TOLERANCE};
-use crate::state::RequestKind;
-use crate::time::SECOND;
+use crate::state::{
+    log_step, step_value, PlacementPolicy, RegionKey, RequestKind, SlotBudget, Split, UplinkGroup, SECOND,
+    TOLERANCE,
+};
 
 pub(crate) const HEADROOM_MARK: f64 = 0.9; // Part of a link or uplink that slots may fill.
 const PRICED_FILL: f64 = 0.8; // Part of the links that the expected sessions are priced to fill.
@@ -35,8 +33,7 @@
     fn climb(&self, start: usize) -> Split {
         let slots = self.budget.trade(&vec![0; self.budget.rung_kb.len()], start, start, 1.0);
         let mut best = Split { benefit: benefit(self.offered, &slots, self.utility, self.penalty), slots };
-        // Why: with hundreds of slots, trades of single ones take as long as viewers wait. The price of steps of
-        // many is that the climb may end on another of several equal peaks.
+        // Why: with hundreds of slots, trades of single ones take too long.
         let mut step = f64::from(best.slots[start] / FIRST_TRADES).max(1.0);
         for _ in 0..MAX_TRADES {
             match self.best_trade(&best.slots, step).filter(|next| next.benefit > best.benefit + TOLERANCE) {
@@ -61,17 +58,11 @@
     }
 }
 
-/// The regions that earn most: slots of each rung (lowest first) whose rates fit `budget_kb` and whose number is
-/// `max_slots` at most. A climb by trades of slots from each all-one-rung start, bounded in steps.
-pub fn best_regions(
-    offered: f64,
-    rung_kb: &[f64],
-    utility: &[f64],
-    budget_kb: f64,
-    max_slots: u32,
-) -> Vec<u32> {
+/// The regions that earn most: slots of each rung (lowest first) whose rates fit `budget`, up to `max_slots`.
+/// A climb by trades of slots from each all-one-rung start, bounded in steps.
+pub fn best_regions(offered: f64, rung_kb: &[f64], utility: &[f64], budget: f64, max_slots: u32) -> Vec<u32> {
     let penalty = utility.first().copied().unwrap_or(0.0);
-    let budget = SlotBudget { rung_kb, budget_kb, max_slots };
+    let budget = SlotBudget { rung_kb, budget_kb: budget, max_slots };
     let search = RegionSearch { offered, utility, penalty, budget };
     let splits = (0..rung_kb.len()).map(|start| search.climb(start));
     splits.max_by(|a, b| a.benefit.total_cmp(&b.benefit)).unwrap_or_default().slots
@@ -88,8 +79,7 @@
         (nanoseconds as f64 * self.pause_factor()) as u64
     }
 
-    /// Sizes a link's regions when it is looked at and their sizing is old, so that the work is spread.
-    /// Its own count of arrivals weighs as much as the mean once it expects one.
+    /// Sizes a link's regions if that is due. Its own arrivals weigh as much as the mean once it expects one.
     pub(crate) fn size_regions(&mut self, now: Time, id: ServerId) {
         let mean_arrivals = self.arrivals.requests / self.fleet.servers_up.max(1.0);
         let rate = mean_arrivals / self.arrivals.seconds.max(1.0);
@@ -123,10 +113,10 @@
         let demand_kb: f64 = (0..self.uplink_groups.len())
             .map(|group| self.uplink_fill(group) * self.uplink_groups[group].uplink.capacity_kb)
             .sum();
-        let capacities =
-            self.uplink_groups.iter().map(|group| group.link_capacity_kb.min(group.uplink.capacity_kb));
-        let budget_kb = capacities.sum::<f64>() * PRICED_FILL;
-        let kinds = self.priced_kinds();
+        let capacity_kb: f64 = self.uplink_groups.iter().map(UplinkGroup::capacity_kb).sum();
+        let budget_kb = capacity_kb * PRICED_FILL;
+        // A replica with few sessions prices for its recent requests too.
+        let kinds = self.session_kinds(REPRESENTATIVE_SESSIONS as usize);
         let (mut low, mut high) = (0.0, self.highest_price());
         for _ in 0..PRICE_STEPS {
             self.price_per_kb = 0.5 * (low + high);
@@ -141,15 +131,6 @@
         self.price_per_kb = high;
     }
 
-    /// The sessions that the price is for. A replica with few takes its recent requests too.
-    fn priced_kinds(&self) -> Vec<RequestKind> {
-        let placed = self.sessions.values().filter(|session| session.server().is_some());
-        let mut kinds: Vec<_> = placed.map(|session| session.request.kind()).collect();
-        let missing = (REPRESENTATIVE_SESSIONS as usize).saturating_sub(kinds.len());
-        kinds.extend(self.recent_requests.iter().take(missing));
-        kinds
-    }
-
     /// A price at which no class repays more than its lowest rung.
     fn highest_price(&self) -> f64 {
         let weights = self.settings.classes.iter().map(|c| c.priority_weight / c.rate_factor.max(1e-6));
--- a/crates/policy/src/accounting.rs
+++ b/crates/policy/src/state/accounting.rs
@@ -1,8 +1,8 @@
 //! Upkeep of what is counted: sessions and their rates at servers, requests and arrivals. No choice is made here.
 use crate::admission::RECENT_REQUESTS;
-use crate::interface::{RequestId, SessionRequest, Time};
-use crate::policy_state::PlacementPolicy;
-use crate::state::{RequestKind, Server, Session};
+use crate::interface::{Endpoint, Lifecycle, RequestId, ServerId, SessionRequest, Time};
+use crate::state::{PlacementPolicy, RequestKind, Server, Session};
+use std::collections::BTreeSet;
 
 /// Whether a session's rate begins or ceases to count at its server.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -120,4 +120,34 @@
             false
         });
     }
+
+    /// Marks servers that a complete list does not name as removed.
+    pub(crate) fn remove_unlisted(&mut self, entries: &[Endpoint]) {
+        let listed: BTreeSet<ServerId> = entries.iter().map(|endpoint| endpoint.server).collect();
+        for (_, server) in self.servers.iter_mut().filter(|(id, _)| !listed.contains(id)) {
+            server.endpoint.lifecycle = Lifecycle::Removed;
+        }
+    }
+
+    /// Records that a viewer left.
+    pub(crate) fn client_left(&mut self, request: RequestId) {
+        if let Some(session) = self.sessions.get_mut(&request) {
+            session.client_left = true;
+        }
+    }
+
+    /// Kinds of our own sessions, and of recent requests if there are fewer than `least`.
+    pub(crate) fn session_kinds(&self, least: usize) -> Vec<RequestKind> {
+        let placed = self.sessions.values().filter(|session| session.server().is_some());
+        let mut kinds: Vec<_> = placed.map(|session| session.request.kind()).collect();
+        let missing = least.saturating_sub(kinds.len());
+        kinds.extend(self.recent_requests.iter().take(missing));
+        kinds
+    }
+
+    /// Sessions of a title and class that are at servers.
+    pub(crate) fn sessions_of_title(&self, class: u8, title: u64) -> usize {
+        let placed = self.sessions.values().filter(|session| session.server().is_some());
+        placed.filter(|session| (session.request.class, session.request.title) == (class, title)).count()
+    }
 }
--- a/crates/policy/src/policy_state.rs
+++ b/crates/policy/src/state/controller.rs
@@ -3,17 +3,16 @@
     Class, CrossZonePolicy, RequestId, ServerEstimate, ServerId, SessionRequest, Settings, Time,
 };
 use crate::policy::{ARRIVAL_SECONDS, INITIAL_COMPLETED, INITIAL_SESSION_SECONDS, INITIAL_SETUP_TIME};
-use crate::slots::RegionKey;
 use crate::state::{
-    ArrivalCount, FleetAggregates, LoadEstimate, RequestKind, Server, Session, SessionChange, TenantUsage,
-    UplinkGroup,
+    ArrivalCount, FleetAggregates, LoadEstimate, RegionKey, RequestKind, Server, Session, SessionChange,
+    TenantUsage, UplinkGroup,
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Rungs of the ladder that are used: those that a rung's number can name.
 const MAX_RUNGS: usize = 256;
 
-/// The decisions of one front.
+/// The decisions of one session controller, one replica of the fleet.
 pub struct PlacementPolicy {
     pub(crate) settings: Settings,
     pub(crate) random: oorandom::Rand32,
