--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -1,12 +1,12 @@
-//! A small fleet to drive a front with.
+//! A small fleet to driver a front with.
 #![allow(dead_code)]
 use crankpaddle::*;
 
 pub(crate) const MS: u64 = 1_000_000;
 pub(crate) const SECOND: u64 = 1000 * MS;
-pub(crate) const FREE: u8 = 0;
-pub(crate) const PAID: u8 = 1;
-pub(crate) const GUARDED: u8 = 2;
+pub(crate) const IDEMPOTENT: u8 = 0;
+pub(crate) const AT_MOST_ONCE: u8 = 1;
+pub(crate) const ZONE_IDEMPOTENT: u8 = 2;
 
 pub(crate) fn settings() -> Settings {
     let class = |effect, floor, top, rate_factor, seats| Class {
@@ -64,7 +64,7 @@
     }
 }
 
-pub(crate) fn listing(id: u32, phase: Lifecycle, since: Time) -> Endpoint {
+pub(crate) fn endpoint(id: u32, phase: Lifecycle, since: Time) -> Endpoint {
     let cell = id as u16 - 1;
     Endpoint {
         server: ServerId(id),
@@ -79,10 +79,10 @@
 
 /// Six servers with ids 1 to 6 in cells 0 to 5.
 pub(crate) fn fleet() -> Vec<Endpoint> {
-    (1..=6).map(|id| listing(id, Lifecycle::Ready, Time(0))).collect()
+    (1..=6).map(|id| endpoint(id, Lifecycle::Ready, Time(0))).collect()
 }
 
-pub(crate) fn ask(request: u64, class: u8, now: Time) -> SessionRequest {
+pub(crate) fn session_request(request: u64, class: u8, now: Time) -> SessionRequest {
     SessionRequest {
         request: RequestId(request),
         viewer: request,
@@ -96,34 +96,34 @@
     }
 }
 
-pub(crate) struct Drive {
-    pub front: PlacementPolicy,
+pub(crate) struct Driver {
+    pub policy: PlacementPolicy,
     pub now: Time,
 }
 
-impl Drive {
-    pub(crate) fn new(settings: Settings) -> Drive {
+impl Driver {
+    pub(crate) fn new(settings: Settings) -> Driver {
         let now = Time(1000 * SECOND);
-        let mut drive = Drive { front: PlacementPolicy::new(settings, 7, now), now };
-        drive.send(Event::EndpointList(EndpointListKind::Full, fleet()));
-        drive
+        let mut driver = Driver { policy: PlacementPolicy::new(settings, 7, now), now };
+        driver.send(Event::EndpointList(EndpointListKind::Full, fleet()));
+        driver
     }
 
     pub(crate) fn send(&mut self, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
-        self.front.handle(self.now, event, &mut out);
+        self.policy.handle(self.now, event, &mut out);
         out
     }
 
-    pub(crate) fn wait(&mut self, time: u64) {
+    pub(crate) fn advance(&mut self, time: u64) {
         self.now = Time(self.now.0 + time);
     }
 
-    pub(crate) fn ask(&mut self, request: u64, class: u8) -> Vec<Action> {
-        self.send(Event::SessionRequested(ask(request, class, self.now)))
+    pub(crate) fn request(&mut self, request: u64, class: u8) -> Vec<Action> {
+        self.send(Event::SessionRequested(session_request(request, class, self.now)))
     }
 
-    pub(crate) fn end(
+    pub(crate) fn end_attempt(
         &mut self,
         request: u64,
         server: ServerId,
@@ -141,7 +141,7 @@
         })
     }
 
-    pub(crate) fn plays(&mut self, request: u64, server: ServerId) -> Vec<Action> {
+    pub(crate) fn establish(&mut self, request: u64, server: ServerId) -> Vec<Action> {
         self.send(Event::SessionEstablished {
             request: RequestId(request),
             attempt: 0,
@@ -150,29 +150,29 @@
         })
     }
 
-    pub(crate) fn note(&mut self, request: u64, server: ServerId, note: SessionUpdate) -> Vec<Action> {
+    pub(crate) fn update(&mut self, request: u64, server: ServerId, note: SessionUpdate) -> Vec<Action> {
         self.send(Event::SessionUpdated { request: RequestId(request), server, update: note })
     }
 }
 
-pub(crate) fn attempt(actions: &[Action]) -> Option<ServerId> {
+pub(crate) fn attempted_server(actions: &[Action]) -> Option<ServerId> {
     actions.iter().find_map(|a| match a {
         Action::StartAttempt { server, .. } => Some(*server),
         _ => None,
     })
 }
 
-pub(crate) fn rung(actions: &[Action]) -> Option<u8> {
+pub(crate) fn set_rung(actions: &[Action]) -> Option<u8> {
     actions.iter().find_map(|a| match a {
         Action::SetRung { rung, .. } => Some(*rung),
         _ => None,
     })
 }
 
-pub(crate) fn rejected(actions: &[Action]) -> bool {
+pub(crate) fn is_rejected(actions: &[Action]) -> bool {
     actions.iter().any(|a| matches!(a, Action::Reject { .. }))
 }
 
-pub(crate) fn failed(actions: &[Action]) -> bool {
+pub(crate) fn is_failed(actions: &[Action]) -> bool {
     actions.iter().any(|a| matches!(a, Action::Fail(_)))
 }
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/invariants.rs
@@ -8,88 +8,91 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 #[test]
-fn what_is_given_up_is_answered_at_once_with_advice() {
-    let mut d = Drive::new(settings());
+fn a_request_without_a_server_is_rejected_at_once_with_retry_after() {
+    let mut d = Driver::new(settings());
     d.send(Event::EndpointList(EndpointListKind::Full, vec![]));
-    let out = d.ask(1, FREE);
+    let out = d.request(1, IDEMPOTENT);
     assert!(out.contains(&Action::Reject { request: RequestId(1), retry_after: SECOND }), "{out:?}");
-    assert!(attempt(&d.ask(1, FREE)).is_none());
+    assert!(attempted_server(&d.request(1, IDEMPOTENT)).is_none());
 }
 
 #[test]
-fn an_unknown_outcome_of_a_paid_set_up_fails_and_is_not_sent_again() {
+fn an_at_most_once_attempt_with_an_unknown_outcome_fails_and_is_not_retried() {
     for outcome in [
         AttemptOutcome::ServerError,
         AttemptOutcome::Timeout,
         AttemptOutcome::Reset,
         AttemptOutcome::Cancelled,
     ] {
-        let mut d = Drive::new(settings());
-        let server = attempt(&d.ask(1, PAID)).unwrap();
-        let out = d.end(1, server, outcome, false);
-        assert!(failed(&out) && attempt(&out).is_none() && !rejected(&out), "{outcome:?} {out:?}");
+        let mut d = Driver::new(settings());
+        let server = attempted_server(&d.request(1, AT_MOST_ONCE)).unwrap();
+        let out = d.end_attempt(1, server, outcome, false);
+        assert!(
+            is_failed(&out) && attempted_server(&out).is_none() && !is_rejected(&out),
+            "{outcome:?} {out:?}"
+        );
     }
 }
 
 #[test]
-fn an_attempt_that_never_ran_is_sent_elsewhere() {
+fn an_attempt_that_was_not_executed_is_retried_at_another_server() {
     for outcome in [AttemptOutcome::Rejected, AttemptOutcome::ConnectFailed] {
-        let mut d = Drive::new(settings());
-        let server = attempt(&d.ask(1, PAID)).unwrap();
-        let next = attempt(&d.end(1, server, outcome, false)).unwrap();
+        let mut d = Driver::new(settings());
+        let server = attempted_server(&d.request(1, AT_MOST_ONCE)).unwrap();
+        let next = attempted_server(&d.end_attempt(1, server, outcome, false)).unwrap();
         assert_ne!(server, next);
     }
 }
 
 #[test]
-fn a_guarded_class_is_repeated_in_its_zone_and_time_only() {
+fn a_class_idempotent_within_its_zone_is_retried_in_its_zone_and_window_only() {
     for wait in [0, 3 * SECOND] {
-        let mut d = Drive::new(settings());
-        let server = attempt(&d.ask(1, GUARDED)).unwrap();
-        d.wait(wait);
-        let out = d.end(1, server, AttemptOutcome::ServerError, false);
-        assert!(!rejected(&out));
-        match attempt(&out) {
+        let mut d = Driver::new(settings());
+        let server = attempted_server(&d.request(1, ZONE_IDEMPOTENT)).unwrap();
+        d.advance(wait);
+        let out = d.end_attempt(1, server, AttemptOutcome::ServerError, false);
+        assert!(!is_rejected(&out));
+        match attempted_server(&out) {
             Some(next) => assert!(wait == 0 && (next.0 % 2 == server.0 % 2)),
-            None => assert!(failed(&out)),
+            None => assert!(is_failed(&out)),
         }
     }
 }
 
 #[test]
-fn drains_bind_at_once() {
-    let mut d = Drive::new(settings());
-    let drained = [1, 2].map(|id| listing(id, Lifecycle::Draining, Time(0))).to_vec();
+fn a_draining_server_gets_no_attempt_from_then_on() {
+    let mut d = Driver::new(settings());
+    let drained = [1, 2].map(|id| endpoint(id, Lifecycle::Draining, Time(0))).to_vec();
     d.send(Event::EndpointList(EndpointListKind::Delta, drained));
     for request in 0..60 {
-        d.wait(100 * MS);
-        if let Some(server) = attempt(&d.ask(request * 6, FREE)) {
+        d.advance(100 * MS);
+        if let Some(server) = attempted_server(&d.request(request * 6, IDEMPOTENT)) {
             assert_eq!(server, ServerId(3));
         }
     }
 }
 
 #[test]
-fn a_server_missing_from_a_full_list_is_gone() {
-    let mut d = Drive::new(settings());
+fn a_server_missing_from_a_full_list_is_removed() {
+    let mut d = Driver::new(settings());
     d.send(Event::EndpointList(
         EndpointListKind::Full,
         fleet().into_iter().filter(|l| l.server.0 != 3).collect(),
     ));
     for request in 0..30 {
-        assert_ne!(attempt(&d.ask(request, FREE)), Some(ServerId(3)));
+        assert_ne!(attempted_server(&d.request(request, IDEMPOTENT)), Some(ServerId(3)));
     }
 }
 
 #[test]
-fn a_cold_server_is_sent_no_more_than_this_fronts_part() {
-    let mut d = Drive::new(settings());
-    let entries = vec![listing(1, Lifecycle::Ready, d.now)];
+fn a_server_in_slow_start_gets_no_more_than_this_replicas_part() {
+    let mut d = Driver::new(settings());
+    let entries = vec![endpoint(1, Lifecycle::Ready, d.now)];
     d.send(Event::EndpointList(EndpointListKind::Full, entries));
     let mut sent = 0;
     for request in 0..300 {
-        d.wait(10 * MS);
-        sent += u32::from(attempt(&d.ask(request * 6, FREE)).is_some());
+        d.advance(10 * MS);
+        sent += u32::from(attempted_server(&d.request(request * 6, IDEMPOTENT)).is_some());
     }
     // 25 places over 10 s, 0.4 warm, times 2.5: 2.5 a second by both fronts together.
     assert!((1..=4).contains(&sent), "{sent} in 3 s");
@@ -97,15 +100,15 @@
 
 /// A fleet that grew beyond its configuration: each front reckons with all that are known.
 #[test]
-fn a_cold_servers_pace_is_cut_into_as_many_parts_as_there_are_fronts() {
+fn the_slow_start_rate_is_divided_by_the_number_of_replicas() {
     let sent_by = |known: Option<u32>| {
-        let mut d = Drive::new(settings());
-        d.send(Event::EndpointList(EndpointListKind::Full, vec![listing(1, Lifecycle::Ready, d.now)]));
+        let mut d = Driver::new(settings());
+        d.send(Event::EndpointList(EndpointListKind::Full, vec![endpoint(1, Lifecycle::Ready, d.now)]));
         known.into_iter().for_each(|n| drop(d.send(Event::ReplicaCountChanged(n))));
         let mut sent = 0;
         for request in 0..900 {
-            d.wait(10 * MS);
-            sent += u32::from(attempt(&d.ask(request * 6, FREE)).is_some());
+            d.advance(10 * MS);
+            sent += u32::from(attempted_server(&d.request(request * 6, IDEMPOTENT)).is_some());
         }
         sent
     };
@@ -116,93 +119,102 @@
 }
 
 #[test]
-fn a_server_that_broke_under_us_is_cold_when_back() {
-    let mut d = Drive::new(settings());
-    d.send(Event::EndpointList(EndpointListKind::Full, vec![listing(1, Lifecycle::Ready, Time(0))]));
-    let server = attempt(&d.ask(6, FREE)).unwrap();
-    d.end(6, server, AttemptOutcome::Reset, false);
-    d.wait(20 * SECOND);
+fn a_server_that_reset_its_connections_returns_in_slow_start() {
+    let mut d = Driver::new(settings());
+    d.send(Event::EndpointList(EndpointListKind::Full, vec![endpoint(1, Lifecycle::Ready, Time(0))]));
+    let server = attempted_server(&d.request(6, IDEMPOTENT)).unwrap();
+    d.end_attempt(6, server, AttemptOutcome::Reset, false);
+    d.advance(20 * SECOND);
     let mut sent = 0;
     for request in 2..300 {
-        d.wait(10 * MS);
-        if let Some(server) = attempt(&d.ask(request * 6, FREE)) {
+        d.advance(10 * MS);
+        if let Some(server) = attempted_server(&d.request(request * 6, IDEMPOTENT)) {
             sent += 1;
-            d.plays(request * 6, server);
+            d.establish(request * 6, server);
         }
     }
     assert!((1..=4).contains(&sent), "{sent} in 3 s");
 }
 
 #[test]
-fn seats_count_from_issue_to_the_end() {
-    let mut d = Drive::new(settings());
-    let one_title = |d: &mut Drive, request| {
-        let ask = SessionRequest { title: 9, ..ask(request, PAID, d.now) };
-        d.send(Event::SessionRequested(ask))
+fn sessions_count_for_the_title_limit_from_the_attempt_to_the_end() {
+    let mut d = Driver::new(settings());
+    let one_title = |d: &mut Driver, request| {
+        let request = SessionRequest { title: 9, ..session_request(request, AT_MOST_ONCE, d.now) };
+        d.send(Event::SessionRequested(request))
     };
-    let first = attempt(&one_title(&mut d, 1)).unwrap();
+    let first = attempted_server(&one_title(&mut d, 1)).unwrap();
     for request in 2..=3 {
-        assert!(attempt(&one_title(&mut d, request)).is_some());
+        assert!(attempted_server(&one_title(&mut d, request)).is_some());
     }
-    assert!(rejected(&one_title(&mut d, 4)));
-    d.plays(1, first);
-    assert!(rejected(&one_title(&mut d, 5)));
-    d.end(1, first, AttemptOutcome::Completed, true);
-    assert!(attempt(&one_title(&mut d, 6)).is_some());
+    assert!(is_rejected(&one_title(&mut d, 4)));
+    d.establish(1, first);
+    assert!(is_rejected(&one_title(&mut d, 5)));
+    d.end_attempt(1, first, AttemptOutcome::Completed, true);
+    assert!(attempted_server(&one_title(&mut d, 6)).is_some());
 }
 
 #[test]
-fn adopted_sessions_hold_seats_until_they_end() {
-    let mut d = Drive::new(settings());
+fn adopted_sessions_count_for_the_title_limit_until_they_end() {
+    let mut d = Driver::new(settings());
     for n in 1..=3 {
-        let ask = SessionRequest { title: 9, ..ask(n, PAID, d.now) };
-        d.send(Event::SessionAdopted(ask, ServerId(2)));
+        let request = SessionRequest { title: 9, ..session_request(n, AT_MOST_ONCE, d.now) };
+        d.send(Event::SessionAdopted(request, ServerId(2)));
     }
-    let one_more = |d: &mut Drive, n| {
-        let ask = SessionRequest { title: 9, ..ask(n, PAID, d.now) };
-        d.send(Event::SessionRequested(ask))
+    let one_more = |d: &mut Driver, n| {
+        let request = SessionRequest { title: 9, ..session_request(n, AT_MOST_ONCE, d.now) };
+        d.send(Event::SessionRequested(request))
     };
-    assert!(rejected(&one_more(&mut d, 4)));
-    d.end(2, ServerId(2), AttemptOutcome::Completed, true);
-    assert!(attempt(&one_more(&mut d, 5)).is_some());
+    assert!(is_rejected(&one_more(&mut d, 4)));
+    d.end_attempt(2, ServerId(2), AttemptOutcome::Completed, true);
+    assert!(attempted_server(&one_more(&mut d, 5)).is_some());
 }
 
 #[test]
-fn a_viewer_who_left_is_not_tried_again() {
-    let mut d = Drive::new(settings());
-    let server = attempt(&d.ask(1, FREE)).unwrap();
+fn no_retry_follows_after_the_viewer_left() {
+    let mut d = Driver::new(settings());
+    let server = attempted_server(&d.request(1, IDEMPOTENT)).unwrap();
     assert!(d.send(Event::ClientLeft(RequestId(1))).is_empty());
-    let out = d.end(1, server, AttemptOutcome::Rejected, true);
-    assert!(attempt(&out).is_none() && !rejected(&out) && !failed(&out), "{out:?}");
+    let out = d.end_attempt(1, server, AttemptOutcome::Rejected, true);
+    assert!(attempted_server(&out).is_none() && !is_rejected(&out) && !is_failed(&out), "{out:?}");
 }
 
 #[test]
-fn rungs_stay_between_floor_and_the_lower_top() {
-    let mut d = Drive::new(settings());
+fn rungs_stay_between_the_class_minimum_and_the_lower_maximum() {
+    let mut d = Driver::new(settings());
     for request in 0..40 {
-        let class = [FREE, PAID, GUARDED][(request % 3) as usize];
+        let class = [IDEMPOTENT, AT_MOST_ONCE, ZONE_IDEMPOTENT][(request % 3) as usize];
         let top = 1 + (request % 4) as u8;
-        let out =
-            d.send(Event::SessionRequested(SessionRequest { max_rung: top, ..ask(request, class, d.now) }));
-        if let Some(rung) = rung(&out) {
-            assert!(rung <= top && (class != PAID || rung >= 1) && (class != GUARDED || rung <= 3));
+        let out = d.send(Event::SessionRequested(SessionRequest {
+            max_rung: top,
+            ..session_request(request, class, d.now)
+        }));
+        if let Some(rung) = set_rung(&out) {
+            assert!(
+                rung <= top
+                    && (class != AT_MOST_ONCE || rung >= 1)
+                    && (class != ZONE_IDEMPOTENT || rung <= 3)
+            );
         }
     }
-    let cannot = d.send(Event::SessionRequested(SessionRequest { max_rung: 0, ..ask(99, PAID, d.now) }));
-    assert!(rejected(&cannot));
+    let cannot = d.send(Event::SessionRequested(SessionRequest {
+        max_rung: 0,
+        ..session_request(99, AT_MOST_ONCE, d.now)
+    }));
+    assert!(is_rejected(&cannot));
 }
 
 #[test]
-fn further_attempts_stay_within_the_allowance() {
-    let mut d = Drive::new(Settings { retry_budget_min: Some(2.0), retry_budget_ratio: 0.1, ..settings() });
+fn retries_stay_within_the_retry_budget() {
+    let mut d = Driver::new(Settings { retry_budget_min: Some(2.0), retry_budget_ratio: 0.1, ..settings() });
     let mut extras = 0;
     for request in 0..20 {
-        let mut out = d.ask(request, FREE);
+        let mut out = d.request(request, IDEMPOTENT);
         let mut first = true;
-        while let Some(server) = attempt(&out) {
+        while let Some(server) = attempted_server(&out) {
             extras += u32::from(!first);
             first = false;
-            out = d.end(request, server, AttemptOutcome::Rejected, false);
+            out = d.end_attempt(request, server, AttemptOutcome::Rejected, false);
         }
     }
     assert!((1..=4).contains(&extras), "{extras}");
@@ -254,7 +266,7 @@
 ];
 
 #[derive(Default)]
-struct Watch {
+struct Expected {
     open: BTreeMap<u64, (SessionRequest, bool, u32)>, // request: ask, may have run, attempts
     out: BTreeMap<u64, ServerId>,
     playing: BTreeSet<u64>,
@@ -266,7 +278,7 @@
     seats: BTreeMap<u64, (u8, u64)>,
 }
 
-impl Watch {
+impl Expected {
     fn check(&mut self, now: Time, s: &Settings, actions: &[Action]) {
         for action in actions {
             match action {
@@ -274,7 +286,7 @@
                     let id = request.0;
                     let (ask, ran, attempts) = self.open.get_mut(&id).expect("attempt for a closed request");
                     assert!(!self.out.contains_key(&id), "two attempts at once");
-                    assert!(!(ask.class == PAID && *ran), "a paid set-up twice");
+                    assert!(!(ask.class == AT_MOST_ONCE && *ran), "a paid set-up twice");
                     let (phase, since) = self.phases[&server.0];
                     assert_eq!(phase, Lifecycle::Ready);
                     assert!((server.0 - 1 + 6 - ask.first_cell % 6) % 6 < ask.cell_count, "not a holder");
@@ -317,7 +329,7 @@
                 Action::Reject { request, .. } => {
                     let (ask, ran, _) = self.open.remove(&request.0).expect("a second answer");
                     assert!(!self.out.contains_key(&request.0));
-                    assert!(ask.class == FREE || !ran, "rejected though it may have run");
+                    assert!(ask.class == IDEMPOTENT || !ran, "rejected though it may have run");
                 }
                 Action::Fail(request) => {
                     self.open.remove(&request.0).expect("a second answer");
@@ -332,49 +344,49 @@
     }
 }
 
-fn obey(steps: Vec<Step>) {
+fn assert_invariants_hold(steps: Vec<Step>) {
     let s = Settings { retry_budget_min: Some(2.0), retry_budget_ratio: 0.2, ..settings() };
-    let mut d = Drive::new(s.clone());
+    let mut d = Driver::new(s.clone());
     let phases = fleet().iter().map(|l| (l.server.0, (l.lifecycle, 0))).collect();
-    let mut w = Watch { phases, ..Watch::default() };
+    let mut w = Expected { phases, ..Expected::default() };
     let mut next = 0;
     for n in 500..503 {
         // Sessions under way at the start hold their seats and end like others.
-        let ask = SessionRequest { title: 2, ..ask(n, PAID, d.now) };
+        let request = SessionRequest { title: 2, ..session_request(n, AT_MOST_ONCE, d.now) };
         w.out.insert(n, ServerId(3));
         w.playing.insert(n);
-        w.seats.insert(n, (PAID, 2));
-        let actions = d.send(Event::SessionAdopted(ask, ServerId(3)));
+        w.seats.insert(n, (AT_MOST_ONCE, 2));
+        let actions = d.send(Event::SessionAdopted(request, ServerId(3)));
         w.check(d.now, &s, &actions);
-        d.note(n, ServerId(3), SessionUpdate::Rung(2));
+        d.update(n, ServerId(3), SessionUpdate::Rung(2));
     }
     for step in steps {
-        let pick = |i: usize, w: &Watch| {
+        let pick = |i: usize, w: &Expected| {
             let n = w.out.len().max(1);
             w.out.iter().nth(i % n).map(|(r, s)| (*r, *s))
         };
         let actions = match step {
             Step::Wait(ms) => {
-                d.wait(ms * MS);
+                d.advance(ms * MS);
                 vec![]
             }
             Step::Ask(class, top) => {
                 next += 1;
-                let ask = SessionRequest { max_rung: top, ..ask(next, class, d.now) };
-                w.open.insert(next, (ask.clone(), false, 0));
+                let request = SessionRequest { max_rung: top, ..session_request(next, class, d.now) };
+                w.open.insert(next, (request.clone(), false, 0));
                 w.asks.push(d.now.0);
-                d.send(Event::SessionRequested(ask))
+                d.send(Event::SessionRequested(request))
             }
             Step::Twice => {
                 w.asks.push(d.now.0);
                 let again = w.out.keys().next().copied();
-                again.map_or(vec![], |request| d.ask(request, FREE))
+                again.map_or(vec![], |request| d.request(request, IDEMPOTENT))
             }
             Step::Plays(i) => match pick(i, &w) {
                 Some((request, server)) if w.open.contains_key(&request) => {
                     w.open.remove(&request);
                     w.playing.insert(request);
-                    d.plays(request, server)
+                    d.establish(request, server)
                 }
                 _ => vec![],
             },
@@ -395,7 +407,7 @@
                     if closed {
                         w.open.remove(&request);
                     }
-                    d.end(request, server, outcome, closed)
+                    d.end_attempt(request, server, outcome, closed)
                 }
                 None => vec![],
             },
@@ -414,7 +426,7 @@
                         SessionUpdate::UplinkDemand(v),
                         SessionUpdate::DeliveryRatio(v),
                     ];
-                    d.note(request, server, note[usize::from(kind)])
+                    d.update(request, server, note[usize::from(kind)])
                 }
                 None => vec![],
             },
@@ -423,14 +435,14 @@
                     [usize::from(p)];
                 let since = if p == 3 { d.now } else { Time(w.phases.get(&id).map_or(0, |v| v.1)) };
                 w.phases.insert(id, (phase, since.0));
-                d.send(Event::EndpointList(EndpointListKind::Delta, vec![listing(id, phase, since)]))
+                d.send(Event::EndpointList(EndpointListKind::Delta, vec![endpoint(id, phase, since)]))
             }
             Step::Full => {
                 for phase in w.phases.values_mut() {
                     phase.0 = Lifecycle::Removed;
                 }
                 let list: Vec<_> =
-                    (1..=6).map(|id| listing(id, Lifecycle::Ready, Time(w.phases[&id].1))).collect();
+                    (1..=6).map(|id| endpoint(id, Lifecycle::Ready, Time(w.phases[&id].1))).collect();
                 for l in &list {
                     w.phases.insert(l.server.0, (Lifecycle::Ready, l.started_at.0));
                 }
@@ -440,9 +452,9 @@
             Step::Odd(n) => {
                 let (request, server) = (RequestId(1_000_000 + n), ServerId(900));
                 let mut all = d.send(Event::ClientLeft(request));
-                all.extend(d.end(request.0, server, AttemptOutcome::Completed, true));
-                all.extend(d.plays(request.0, server));
-                all.extend(d.note(request.0, server, SessionUpdate::Rung(200)));
+                all.extend(d.end_attempt(request.0, server, AttemptOutcome::Completed, true));
+                all.extend(d.establish(request.0, server));
+                all.extend(d.update(request.0, server, SessionUpdate::Rung(200)));
                 all
             }
             Step::Tick => d.send(Event::Timer(0)),
@@ -452,12 +464,12 @@
 }
 
 #[test]
-fn the_rules_hold_over_long_odd_sequences() {
+fn the_invariants_hold_over_long_random_sequences() {
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
     let config = ProptestConfig { cases: 150, failure_persistence: None, ..ProptestConfig::default() };
     let mut runner = TestRunner::new_with_rng(config, rng);
     let done = runner.run(&proptest::collection::vec(step(), 50..400), |steps| {
-        obey(steps);
+        assert_invariants_hold(steps);
         Ok(())
     });
     if let Err(error) = done {
--- a/crates/policy/tests/regions.rs
+++ b/crates/policy/tests/regions.rs
@@ -15,7 +15,7 @@
 }
 
 #[test]
-fn loss_probability_stands_large_and_odd_loads() {
+fn loss_probability_is_defined_for_large_and_unusual_loads() {
     assert!((erlang_b(1e9, 1000) - (1.0 - 1e-6)).abs() < 1e-8);
     assert!(erlang_b(1e300, 5000) > 0.999);
     assert_eq!(erlang_b(0.0, 3), 0.0);
@@ -29,7 +29,7 @@
 }
 
 #[test]
-fn queues_reckoned_side_by_side_are_the_same_as_each_alone() {
+fn queues_computed_in_a_batch_equal_each_alone() {
     for rung in 1..12 {
         // Links from a few slots to some thousand, from idle to many times overrun, in one call each.
         let slots: Vec<u32> = (0..rung).map(|i| (i * i * 37 + i) % 1300).collect();
@@ -51,7 +51,7 @@
 }
 
 #[test]
-fn spill_over_chains_the_queues() {
+fn overflow_chains_the_queues() {
     // 3 erlangs at 2 slots of the upper rung, what spills over at 4 of the lower, the rest is rejected.
     let spilled = 3.0 * erlang_b(3.0, 2);
     let lost = spilled * erlang_b(spilled, 4);
@@ -111,7 +111,7 @@
 }
 
 #[test]
-fn a_link_of_a_thousand_places_is_sized_no_worse_than_slot_by_slot() {
+fn a_link_of_a_thousand_slots_is_sized_no_worse_than_by_trades_of_single_slots() {
     let kb = [118.0, 213.0, 387.0, 700.0, 1268.0].map(|kb: f64| kb * 1.14);
     let worth = [0.25, 0.47, 0.65, 0.83, 1.0];
     // What climbs that moved one slot at a time came to, in 36 to 113 ms each.
