--- a/crates/policy/tests/slow_start.rs
+++ b/crates/policy/tests/slow_start.rs
@@ -3,17 +3,17 @@
 //! In virtual time, each front with traffic of its own, some with many times the mean; a tenth of all attempts fail at once and
 //! are made again; fronts hear of the start up to 1.5 s apart, and a third of them restarts while the server warms up.
 //! `RAMP_SEEDS=200 cargo test --release --test slow_start -- --nocapture` prints the figures of `docs/design.md`.
-#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 mod common;
 use common::*;
 use crankpaddle::*;
 use std::collections::VecDeque;
 
-/// When sessions come to their ends, and where.
-type Ends = VecDeque<(u64, u64, ServerId)>;
-
 const SERVER: u32 = 7;
 const BEGIN: u64 = 1000 * SECOND;
+/// When the server starts.
+const SERVER_START: u64 = BEGIN + SECOND;
+/// Of the whole fleet; a third of them may go to this server.
+const REQUESTS_PER_SECOND: f64 = 150.0;
 
 /// What the settings allow in one span (N), the sum that the rule leaves to chance, and the most sent.
 struct Measured {
@@ -49,91 +49,160 @@
     Event::EndpointList(EndpointListKind::Full, entries)
 }
 
-/// The set-ups that a fleet of `n` fronts sends to a server that starts; each with its time and its work.
-fn simulate_slow_start(n: u32, places: u32, seed: u64) -> (Settings, Vec<(u64, f64)>) {
-    let own = |index| Settings {
-        front_index: index,
-        replica_count: n,
-        stream_capacity: vec![places],
-        ..settings()
-    };
-    let mut random = Random(oorandom::Rand64::new(u128::from(seed) + 1));
-    let front = |index: u32, now: u64, seed: u64| {
-        let mut driver = Driver { policy: PlacementPolicy::new(own(index), seed, Time(now)), now: Time(now) };
-        driver.send(endpoint_list(None));
-        driver
-    };
-    let mut fronts: Vec<Driver> = (0..n).map(|i| front(i, BEGIN, seed * 1000 + u64::from(i))).collect();
-    let weights: Vec<f64> = (0..n).map(|_| (-random.unit().ln()).powi(2)).collect();
-    let start = BEGIN + SECOND;
-    let hears: Vec<u64> = (0..n).map(|_| start + random.below(1500) * MS).collect();
-    let restarts: Vec<Option<u64>> =
-        (0..n).map(|_| (random.unit() < 1.0 / 3.0).then(|| start + random.below(9000) * MS)).collect();
-    let (mut knows, mut ends) = (vec![false; n as usize], vec![Ends::new(); n as usize]);
-    let (mut sent, mut request, mut ticks) = (Vec::new(), 0, vec![0; n as usize]);
-    let most = weights.iter().copied().fold(0.0, f64::max);
-    let rate = 150.0; // Requests a second, of the whole fleet; a third of them may go to this server.
-    let mut now = BEGIN;
-    loop {
-        now += (-random.unit().ln() / rate * SECOND as f64) as u64;
-        if now >= start + own(0).slow_start_duration {
-            break; // It is warm.
-        }
-        let i = loop {
-            let i = random.below(u64::from(n)) as usize;
-            if random.unit() * most <= weights[i] {
-                break i;
-            }
-        };
-        if let Some(at) = restarts[i].filter(|at| now >= *at && fronts[i].now.0 < *at) {
-            // It starts anew from a list that may be as old as its siblings' news.
-            fronts[i] = front(i as u32, at, seed * 1000 + 500 + i as u64);
-            (knows[i], ends[i]) = (false, Ends::new());
-        }
-        let d = &mut fronts[i];
-        while ends[i].front().is_some_and(|(at, ..)| *at <= now) {
-            let (at, request, server) = ends[i].pop_front().expect("just seen");
-            d.now = Time(at).max(d.now);
-            d.end_attempt(request, server, AttemptOutcome::Completed, true);
+/// A set-up that was sent to the server in slow start.
+struct SentSetup {
+    at: u64,
+    work: f64,
+}
+
+/// The end of a session that is established.
+struct SessionEnd {
+    at: u64,
+    request: u64,
+    server: ServerId,
+}
+
+/// One replica, when it is notified of the server's start and when it restarts.
+struct Replica {
+    driver: Driver,
+    weight: f64,
+    notified_at: u64,
+    restarts_at: Option<u64>,
+    is_notified: bool,
+    next_tick: u64,
+    ends: VecDeque<SessionEnd>,
+}
+
+impl Replica {
+    /// Brings it up to the present: ends sessions that are over, notifies it of the start, and ticks.
+    fn catch_up(&mut self, now: u64) {
+        let driver = &mut self.driver;
+        while self.ends.front().is_some_and(|end| end.at <= now) {
+            let end = self.ends.pop_front().expect("just seen");
+            driver.now = Time(end.at).max(driver.now);
+            driver.end_attempt(end.request, end.server, AttemptOutcome::Completed, true);
         }
-        d.now = Time(now).max(d.now);
-        if !knows[i] && now >= hears[i] {
-            knows[i] = true;
-            d.send(endpoint_list(Some(start)));
+        driver.now = Time(now).max(driver.now);
+        if !self.is_notified && now >= self.notified_at {
+            self.is_notified = true;
+            driver.send(endpoint_list(Some(SERVER_START)));
         }
-        if now >= ticks[i] {
-            d.send(Event::Timer(0));
-            ticks[i] = now + SECOND;
+        if now >= self.next_tick {
+            driver.send(Event::Timer(0));
+            self.next_tick = now + SECOND;
         }
-        request += 6; // All of one title, held by cells 0 to 2.
-        let mut out = d.request(request, IDEMPOTENT);
+    }
+
+    /// Makes a request, with retries; a tenth of all attempts fail. Returns the set-ups to the server in slow start.
+    fn request(&mut self, now: u64, request: u64, random: &mut Random) -> Vec<SentSetup> {
+        let mut sent = Vec::new();
+        let mut out = self.driver.request(request, IDEMPOTENT);
         while let Some(server) = attempted_server(&out) {
             if server == ServerId(SERVER) {
-                sent.push((now, random.work()));
+                sent.push(SentSetup { at: now, work: random.work() });
             }
             if random.unit() >= 0.1 {
-                d.establish(request, server);
-                ends[i].push_back((now + 2 * SECOND, request, server));
+                self.driver.establish(request, server);
+                self.ends.push_back(SessionEnd { at: now + 2 * SECOND, request, server });
                 break;
             }
-            out = d.end_attempt(request, server, AttemptOutcome::Rejected, false);
+            out = self.driver.end_attempt(request, server, AttemptOutcome::Rejected, false);
+        }
+        sent
+    }
+}
+
+/// A fleet of replicas with uneven traffic.
+struct Simulation {
+    settings: Settings,
+    seed: u64,
+    random: Random,
+    replicas: Vec<Replica>,
+    max_weight: f64,
+}
+
+impl Simulation {
+    fn new(settings: Settings, seed: u64) -> Simulation {
+        let mut random = Random(oorandom::Rand64::new(u128::from(seed) + 1));
+        let count = settings.replica_count;
+        let weights: Vec<f64> = (0..count).map(|_| (-random.unit().ln()).powi(2)).collect();
+        let notified: Vec<u64> = (0..count).map(|_| SERVER_START + random.below(1500) * MS).collect();
+        let restarts: Vec<Option<u64>> = (0..count)
+            .map(|_| (random.unit() < 1.0 / 3.0).then(|| SERVER_START + random.below(9000) * MS))
+            .collect();
+        let max_weight = weights.iter().copied().fold(0.0, f64::max);
+        let replicas = (0..count as usize).map(|index| Replica {
+            driver: driver(&settings, index, BEGIN, seed * 1000 + index as u64),
+            weight: weights[index],
+            notified_at: notified[index],
+            restarts_at: restarts[index],
+            is_notified: false,
+            next_tick: 0,
+            ends: VecDeque::new(),
+        });
+        let replicas = replicas.collect();
+        Simulation { settings, seed, random, replicas, max_weight }
+    }
+
+    /// A replica, drawn by its weight.
+    fn draw_replica(&mut self) -> usize {
+        loop {
+            let index = self.random.below(self.replicas.len() as u64) as usize;
+            if self.random.unit() * self.max_weight <= self.replicas[index].weight {
+                return index;
+            }
         }
     }
-    (own(0), sent)
+
+    /// Restarts a replica if that is due, from a list that may be older than the server's start.
+    fn restart_if_due(&mut self, index: usize, now: u64) {
+        let replica = &mut self.replicas[index];
+        let due = |at: &u64| now >= *at && replica.driver.now.0 < *at;
+        if let Some(at) = replica.restarts_at.filter(due) {
+            replica.driver = driver(&self.settings, index, at, self.seed * 1000 + 500 + index as u64);
+            replica.is_notified = false;
+            replica.ends = VecDeque::new();
+        }
+    }
+
+    /// Runs until the slow start is over; returns the set-ups that all replicas send to the server.
+    fn run(&mut self) -> Vec<SentSetup> {
+        let (mut sent, mut request, mut now) = (Vec::new(), 0, BEGIN);
+        loop {
+            now += (-self.random.unit().ln() / REQUESTS_PER_SECOND * SECOND as f64) as u64;
+            if now >= SERVER_START + self.settings.slow_start_duration {
+                return sent;
+            }
+            let index = self.draw_replica();
+            self.restart_if_due(index, now);
+            self.replicas[index].catch_up(now);
+            request += 6; // All of one title, held by cells 0 to 2.
+            sent.extend(self.replicas[index].request(now, request, &mut self.random));
+        }
+    }
+}
+
+fn driver(settings: &Settings, index: usize, now: u64, seed: u64) -> Driver {
+    let settings = Settings { front_index: index as u32, ..settings.clone() };
+    let mut driver = Driver { policy: PlacementPolicy::new(settings, seed, Time(now)), now: Time(now) };
+    driver.send(endpoint_list(None));
+    driver
 }
 
 fn measure(n: u32, places: u32, seeds: u64) -> Measured {
     let mut result = Measured { allowed: 0.0, overloads_at: 0.0, most: 0, most_work: 0.0, mean: 0.0 };
     for seed in 0..seeds {
-        let (s, sent) = simulate_slow_start(n, places, seed);
+        let s = Settings { replica_count: n, stream_capacity: vec![places], ..settings() };
+        let sent = Simulation::new(s.clone(), seed).run();
         let pace =
             f64::from(places) / s.slow_start_duration as f64 * s.slow_start_min_factor * s.overload_multiple;
         result.allowed = pace * s.overload_window as f64;
         result.overloads_at = result.allowed + 2.0 * result.allowed.sqrt() + 2.0;
         for from in 0..sent.len() {
-            let span = || sent[from..].iter().take_while(|(at, _)| *at < sent[from].0 + s.overload_window);
+            let span =
+                || sent[from..].iter().take_while(|setup| setup.at < sent[from].at + s.overload_window);
             result.most = result.most.max(span().count());
-            result.most_work = result.most_work.max(span().map(|(_, work)| work).sum());
+            result.most_work = result.most_work.max(span().map(|setup| setup.work).sum());
         }
         result.mean +=
             sent.len() as f64 / (s.slow_start_duration as f64 / s.overload_window as f64) / seeds as f64;
