--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -80,7 +80,7 @@
             }
             AttemptOutcome::Rejected => {
                 let least = self.settings.server_rejection_threshold.min(1.0);
-                server.link.raise_to(least);
+                server.link.set_at_least(least);
             }
             _ => {}
         }
--- a/crates/policy/src/interface/action.rs
+++ b/crates/policy/src/interface/action.rs
@@ -38,7 +38,7 @@
     },
     /// Remove the session from its server; it returns as a new request.
     MigrateSession(RequestId),
-    /// Call [`Event::Timer`] with this token at that time.
+    /// Call [`Event::Timer`](super::Event::Timer) with this token at that time.
     SetTimer {
         /// When.
         at: Time,
--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -78,7 +78,7 @@
         let Some(server) = self.servers.get_mut(&id) else { return };
         for &(field, value) in report {
             match field {
-                LoadField::LinkUtilization if value >= SATURATED_UTILIZATION => server.link.raise_to(1.0),
+                LoadField::LinkUtilization if value >= SATURATED_UTILIZATION => server.link.set_at_least(1.0),
                 LoadField::LinkDemand | LoadField::LinkUtilization => {
                     server.measure_link(now, value, REPORT_AGE);
                 }
@@ -187,7 +187,7 @@
         }
         let unmeasured = server.link.measured_at.is_none_or(|measured_at| measured_at <= since);
         if unmeasured || server.link.fill * ratio > LINK_EXPLAINS {
-            server.link.raise_to(1.0 / ratio.max(LEAST_DELIVERY));
+            server.link.set_at_least(1.0 / ratio.max(LEAST_DELIVERY));
         } else if ratio < FAULTY_DELIVERY {
             // Why: a server that hangs or delivers too little for a cause of its own still accepts set-ups.
             server.record_failure(now);
--- a/crates/policy/src/state/fleet.rs
+++ b/crates/policy/src/state/fleet.rs
@@ -34,7 +34,7 @@
 
 impl LoadEstimate {
     /// Raises the estimate to `fill` if it is lower.
-    pub(crate) fn raise_to(&mut self, fill: f64) {
+    pub(crate) fn set_at_least(&mut self, fill: f64) {
         self.fill = self.fill.max(fill);
     }
 }
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! A small fleet to driver a front with.
+//! A small fleet, and a driver that sends events to a policy.
 #![allow(dead_code)]
 use crankpaddle::*;
 
@@ -150,8 +150,8 @@
         })
     }
 
-    pub(crate) fn update(&mut self, request: u64, server: ServerId, note: SessionUpdate) -> Vec<Action> {
-        self.send(Event::SessionUpdated { request: RequestId(request), server, update: note })
+    pub(crate) fn update(&mut self, request: u64, server: ServerId, update: SessionUpdate) -> Vec<Action> {
+        self.send(Event::SessionUpdated { request: RequestId(request), server, update })
     }
 }
 
--- a/crates/policy/tests/cross_zone.rs
+++ b/crates/policy/tests/cross_zone.rs
@@ -1,4 +1,4 @@
-//! What the module does with what it is told of leaving a zone and of highest rungs.
+//! Cross-zone policies and changes of the highest rung.
 mod common;
 use common::*;
 use crankpaddle::*;
--- a/crates/policy/tests/failures.rs
+++ b/crates/policy/tests/failures.rs
@@ -1,9 +1,9 @@
-//! Each failure that was found, and what the ordinary path and its departures do, without the bench.
+//! Admission, promotion, ejection and recovery of one replica, and each failure that was found, without the bench.
 mod common;
 use common::*;
 use crankpaddle::*;
 
-/// A front that knows server 1 only; asks are for cell 0.
+/// A replica that knows server 1 only; requests are for cell 0.
 fn driver_with_one_server() -> Driver {
     let mut d = Driver::new(settings());
     d.send(Event::EndpointList(EndpointListKind::Full, vec![endpoint(1, Lifecycle::Ready, Time(0))]));
@@ -83,7 +83,7 @@
     for (request, rung) in out {
         assert!(rung < rungs[(request / 6 - 1) as usize]);
     }
-    // Once for each news: the same late note again changes nothing.
+    // Once for each measurement: the same late update again changes nothing.
     assert!(rung_changes(&d.update(6, ServerId(1), SessionUpdate::LinkDemand(1.5))).is_empty());
 }
 
@@ -145,7 +145,7 @@
         d.update(6, server, SessionUpdate::DeliveryRatio(0.5));
         d.update(6, server, SessionUpdate::LinkDemand(2.0));
     }
-    // Server 3 stands in the same rack.
+    // Server 3 is in the same rack.
     let out = d.send(Event::SessionRequested(SessionRequest {
         cell_count: 1,
         ..session_request(8, IDEMPOTENT, d.now)
@@ -252,7 +252,7 @@
     d.request(6, IDEMPOTENT);
     tick_seconds(&mut d, 1);
     assert!(is_rejected(&d.request(12, IDEMPOTENT)));
-    // Two seconds without a turn, and then a request and a time-out at once.
+    // Two seconds without running, and then a request and a time-out at once.
     let mut d = driver_with_one_server();
     tick_seconds(&mut d, 2);
     let server = attempted_server(&d.request(6, IDEMPOTENT)).unwrap();
--- a/crates/policy/tests/invariants.rs
+++ b/crates/policy/tests/invariants.rs
@@ -90,11 +90,11 @@
         d.advance(10 * MS);
         sent += u32::from(attempted_server(&d.request(request * 6, IDEMPOTENT)).is_some());
     }
-    // 25 places over 10 s, 0.4 warm, times 2.5: 2.5 a second by both fronts together.
+    // 25 streams over 10 s, 0.4 at least, times 2.5: 2.5 a second by both replicas together.
     assert!((1..=4).contains(&sent), "{sent} in 3 s");
 }
 
-/// A fleet that grew beyond its configuration: each front reckons with all that are known.
+/// A fleet that grew beyond its configuration: each replica divides by all that are known.
 #[test]
 fn the_slow_start_rate_is_divided_by_the_number_of_replicas() {
     let sent_by = |known: Option<u32>| {
@@ -108,7 +108,7 @@
         }
         sent
     };
-    // Two fronts: half of 1.25 a second each, for 9 s. Twenty: a tenth of that.
+    // Two replicas: half of 1.25 a second each, for 9 s. Twenty: a tenth of that.
     let (two, twenty) = (sent_by(None), sent_by(Some(20)));
     assert!((4..=6).contains(&two), "{two} by one of two");
     assert!((1..=2).contains(&twenty), "{twenty} by one of twenty");
--- a/crates/policy/tests/many_replicas.rs
+++ b/crates/policy/tests/many_replicas.rs
@@ -1,4 +1,4 @@
-//! Many fronts together, each deciding alone: cold servers, raises, relief, and fronts that see little.
+//! Many replicas together, each deciding alone: slow start, promotion, relief, and replicas with few sessions.
 mod common;
 use common::*;
 use crankpaddle::*;
@@ -26,7 +26,7 @@
         .unwrap_or(0)
 }
 
-/// Every front is asked for a session on server 1 every 50 ms; what is sent there is noted.
+/// Every replica receives a request for server 1 every 50 ms; returns when set-ups were sent there.
 fn request_repeatedly(fronts: &mut [Driver], seconds: u64) -> Vec<u64> {
     let mut sent = Vec::new();
     let mut request = 0;
@@ -48,7 +48,7 @@
     sent
 }
 
-/// 25 places over 10 s, 0.4 warm, times 2.5: with 2.5 set-ups in a second the server would fall.
+/// 25 streams over 10 s, 0.4 at least, times 2.5: more than 2.5 set-ups in a second overload the server.
 const OVERLOADING_SETUPS: usize = 3;
 
 #[test]
@@ -69,7 +69,7 @@
 
 #[test]
 fn a_server_that_reset_its_connections_is_not_overloaded_by_250_replicas() {
-    // All saw it break; half hear of its restart, the other half does not.
+    // All saw the reset; half are notified of the restart, the other half is not.
     for told in [0, 2, 1] {
         let mut all = replicas(250, |_| ());
         for (i, d) in all.iter_mut().enumerate() {
@@ -91,7 +91,7 @@
     }
 }
 
-/// Fronts with a session each on server 1, at `rung`, long enough ago that it may be raised.
+/// Replicas with a session each on server 1, at `rung`, long enough ago that it may be promoted.
 fn replicas_with_session(n: u32, rung: u8) -> Vec<Driver> {
     let mut all = replicas(n, |s| s.uplink_kb = 1e9);
     for d in &mut all {
@@ -101,7 +101,16 @@
     all
 }
 
-/// All hear `x` of the link at once; the kB by which they change what they ask of it.
+/// The link of server 1 has this capacity from now on, kB a second.
+fn set_link_capacity(replicas: &mut [Driver], link_kb: f64) {
+    for d in replicas {
+        let mut entry = endpoint(1, Lifecycle::Ready, Time(0));
+        entry.weight = link_kb / 6000.0;
+        d.send(Event::EndpointList(EndpointListKind::Delta, vec![entry]));
+    }
+}
+
+/// All receive the measurement `x` of the link at once; returns by how many kB a second they change its load.
 fn demand_change(all: &mut [Driver], rung: u8, x: f64) -> f64 {
     let kb = |rung: u8| settings().rung_kb[usize::from(rung)];
     let mut sum = 0.0;
@@ -121,14 +130,10 @@
 #[test]
 fn replicas_with_the_same_headroom_measurement_promote_into_it_and_not_beyond() {
     for n in [2u32, 20, 200] {
-        // The link is sized for the fronts' sessions: 0.4 of it is asked, the fronts' own sessions alone.
+        // The link is sized for the replicas' own sessions: they fill 0.4 of it.
         let link = f64::from(n) * 350.0 / 0.4;
         let mut all = replicas_with_session(n, 1);
-        for d in &mut all {
-            let mut entry = endpoint(1, Lifecycle::Ready, Time(0));
-            entry.weight = link / 6000.0;
-            d.send(Event::EndpointList(EndpointListKind::Delta, vec![entry]));
-        }
+        set_link_capacity(&mut all, link);
         let room = 0.5 * link;
         let raised: f64 = (0..3).map(|_| demand_change(&mut all, 1, 0.4).max(0.0)).sum::<f64>() / 3.0;
         assert!(raised <= 1.2 * room, "{n} fronts raised {raised:.0} into {room:.0}");
@@ -141,11 +146,7 @@
     for n in [2u32, 20, 200] {
         let link = f64::from(n) * 1000.0 / 1.2;
         let mut all = replicas_with_session(n, 3);
-        for d in &mut all {
-            let mut entry = endpoint(1, Lifecycle::Ready, Time(0));
-            entry.weight = link / 6000.0;
-            d.send(Event::EndpointList(EndpointListKind::Delta, vec![entry]));
-        }
+        set_link_capacity(&mut all, link);
         let excess = 0.25 * link;
         let lowered = -demand_change(&mut all, 3, 1.2);
         let slack = 1.5 * (f64::from(n)).sqrt() * 400.0;
@@ -156,7 +157,7 @@
     }
 }
 
-/// Fails where only what was heard and what is ours counts: in a rush the links are then believed as light as they were.
+/// Fails where only the measurement and our own sessions count: then the fill stays as estimated before.
 #[test]
 fn load_added_by_other_replicas_since_a_measurement_is_estimated_only_while_sessions_grow() {
     let believed = |ends: bool| {
--- a/crates/policy/tests/slow_start.rs
+++ b/crates/policy/tests/slow_start.rs
@@ -1,7 +1,7 @@
-//! A server that starts while many fronts send: what all of them send it together, in any span of the rule's length.
+//! A server in slow start under many replicas: what all of them send it together, in any window of the rule.
 //!
-//! In virtual time, each front with traffic of its own, some with many times the mean; a tenth of all attempts fail at once and
-//! are made again; fronts hear of the start up to 1.5 s apart, and a third of them restarts while the server warms up.
+//! In virtual time, each replica with traffic of its own, some with many times the mean; a tenth of all attempts fail at once
+//! and are retried; replicas are notified of the start up to 1.5 s apart, and a third of them restarts during the slow start.
 //! `RAMP_SEEDS=200 cargo test --release --test slow_start -- --nocapture` prints the figures of `docs/design.md`.
 mod common;
 use common::*;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -100,6 +100,14 @@
         .collect()
 }
 
+/// The classes of sessions; [`check`] has made sure that each has its entries in the lists of the ladder.
+fn classes(fleet: &Family, services: &[Service]) -> Vec<Class> {
+    let services = services.iter().enumerate();
+    services
+        .map(|(index, service)| class(fleet, index, service))
+        .collect()
+}
+
 fn class(fleet: &Family, index: usize, class: &Service) -> Class {
     Class {
         latency_objective: class.latency_objective,
@@ -138,21 +146,16 @@
 }
 
 fn settings(document: Facts) -> Settings {
-    let Facts {
-        fleet,
-        limits,
-        rules,
-        ..
-    } = document;
-    let classes = document.classes.iter().enumerate();
+    let (fleet, limits, rules) = (document.fleet, document.limits, document.rules);
+    let classes = classes(&fleet, &document.classes);
+    let tenants = document.tenants.iter();
+    let tenant_quota = tenants.map(|tenant| tenant.quota_per_second).collect();
     let has_retry_budget = rules.retry_budget_min.is_some() || rules.retry_budget_ratio.is_some();
     Settings {
         front_index: document.replica_index,
         replica_count: document.replica_count,
         zone: document.zone,
-        classes: classes
-            .map(|(index, entry)| class(&fleet, index, entry))
-            .collect(),
+        classes,
         rung_kb: fleet.rung_kb,
         rung_utility: fleet.rung_utility,
         cells: fleet.cells,
@@ -167,11 +170,7 @@
         update_interval: fleet.update_interval,
         shortfall_cost: fleet.shortfall_cost,
         rung_change_cost_seconds: fleet.rung_change_cost_seconds,
-        tenant_quota: document
-            .tenants
-            .iter()
-            .map(|tenant| tenant.quota_per_second)
-            .collect(),
+        tenant_quota,
         over_quota_weight: document.over_quota_weight,
         discovery_on_request: document.discovery == "ask",
         max_discovery_age: rules.max_discovery_age,
--- a/crates/simhost/src/wire/reply.rs
+++ b/crates/simhost/src/wire/reply.rs
@@ -1,6 +1,6 @@
 //! Encodes the reply to a batch: the actions of all instances.
 use super::ACTION_BYTES;
-use crankpaddle::Action;
+use crankpaddle::{Action, RequestId, ServerId};
 use std::io::{self, Write};
 
 /// Codes of the records, as the bench numbers them.
@@ -44,15 +44,7 @@
                 request,
                 server,
                 timeout,
-            } => {
-                let (request, timeout) = (request.0.to_le_bytes(), timeout.to_le_bytes());
-                let server = server.0.to_le_bytes();
-                self.record(
-                    code::START_ATTEMPT,
-                    instance,
-                    &[&request, &timeout, &server],
-                );
-            }
+            } => self.start_attempt(instance, *request, *server, *timeout),
             Action::SetRung { request, rung } => {
                 let request = request.0.to_le_bytes();
                 self.record(code::SET_RUNG, instance, &[&request, &[*rung]]);
@@ -110,6 +102,16 @@
         output.flush()
     }
 
+    fn start_attempt(&mut self, instance: u32, request: RequestId, server: ServerId, timeout: u64) {
+        let (request, timeout) = (request.0.to_le_bytes(), timeout.to_le_bytes());
+        let server = server.0.to_le_bytes();
+        self.record(
+            code::START_ATTEMPT,
+            instance,
+            &[&request, &timeout, &server],
+        );
+    }
+
     fn record(&mut self, code: u8, instance: u32, fields: &[&[u8]]) {
         let end = self.records.len() + ACTION_BYTES;
         self.records.push(code);
--- a/crates/simhost/tests/adapter.rs
+++ b/crates/simhost/tests/adapter.rs
@@ -1,8 +1,8 @@
-//! The adapter on the wire: frames, odd input, and exits.
+//! The adapter on the wire: frames, malformed input, and exits.
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
-const FACTS: &str = r#"{"index":0,"siblings":1,"az":0,"unknown-key":[1],
+const SETTINGS: &str = r#"{"index":0,"siblings":1,"az":0,"unknown-key":[1],
  "services":[{"aim":800000000,"deadline":4000000000,"semantics":"free","worth":1.0,"name":"x"}],
  "family-info":{"cells":1,"cabinets":1,"class-top":[1],"lowest-rung":[0],"rate-factor":[1.0],"fleet-kb":6000.0,
   "kb-per-weight":6000.0,"level-kb":[200.0,400.0],"rung-worth":[0.3,1.0],"places-by-kind":[20],"uplink-kb":6000.0},
@@ -47,7 +47,7 @@
     record(80, &[&3u32.to_le_bytes(), &7u64.to_le_bytes(), &place])
 }
 
-fn complains(input: &[u8], about: &str) {
+fn assert_fails_with(input: &[u8], about: &str) {
     let out = run(input);
     let message = String::from_utf8_lossy(&out.stderr).into_owned();
     assert!(!out.status.success(), "exit 0; {message}");
@@ -59,7 +59,7 @@
 }
 
 #[test]
-fn the_end_of_input_between_frames_is_a_clean_exit() {
+fn the_end_of_input_between_batches_is_a_clean_exit() {
     assert!(run(&[]).status.success());
     let out = run(&batch(1, 5, &[], &[]));
     assert!(out.status.success());
@@ -67,29 +67,29 @@
 }
 
 #[test]
-fn a_request_is_set_up_at_a_listed_holder() {
+fn a_request_is_set_up_at_a_listed_server_of_its_cell() {
     let who = 3u32.to_le_bytes();
-    let facts = FACTS.as_bytes();
-    let mut tail = facts.to_vec();
+    let settings = SETTINGS.as_bytes();
+    let mut tail = settings.to_vec();
     let mut entry = 77u32.to_le_bytes().to_vec();
     entry.extend([0, 0, 0, 0, 0, 1]);
     entry.extend(1f32.to_le_bytes());
     entry.extend(0u64.to_le_bytes());
     tail.extend(entry);
-    let place = [(facts.len() as u32).to_le_bytes(), 1u32.to_le_bytes()].concat();
+    let place = [(settings.len() as u32).to_le_bytes(), 1u32.to_le_bytes()].concat();
     let directory = record(20, &[&[2], &place]);
     let topology = record(130, &[&who, &[3], &1u64.to_le_bytes(), &[2]]);
-    let mut ask = record(
+    let mut request = record(
         10,
         &[&who, &9u64.to_le_bytes(), &1u64.to_le_bytes(), &[0, 0]],
     );
-    ask.extend(4_000_000_000u64.to_le_bytes());
-    ask.extend(1f32.to_le_bytes());
-    ask.extend(1f32.to_le_bytes());
+    request.extend(4_000_000_000u64.to_le_bytes());
+    request.extend(1f32.to_le_bytes());
+    request.extend(1f32.to_le_bytes());
     let frame = batch(
         1,
         1000,
-        &[spawn(facts.len()), directory, topology, ask],
+        &[spawn(settings.len()), directory, topology, request],
         &tail,
     );
     let out = run(&frame);
@@ -104,37 +104,37 @@
 }
 
 #[test]
-fn malformed_frames_are_named() {
-    complains(&[1, 0, 0], "batch header");
+fn malformed_batches_are_named_in_the_error() {
+    assert_fails_with(&[1, 0, 0], "batch header");
     let whole = batch(4, 5, &[record(40, &[&3u32.to_le_bytes()])], &[]);
-    complains(&whole[..whole.len() - 9], "batch 4: input ends");
-    complains(
+    assert_fails_with(&whole[..whole.len() - 9], "batch 4: input ends");
+    assert_fails_with(
         &batch(1, 5, &[record(99, &[])], &[]),
         "unknown event code 99",
     );
-    complains(
+    assert_fails_with(
         &batch(1, 5, &[record(40, &[&3u32.to_le_bytes()])], &[]),
         "instance 3 was never started",
     );
-    complains(&batch(1, 5, &[spawn(400)], b"{}"), "outside the tail");
+    assert_fails_with(&batch(1, 5, &[spawn(400)], b"{}"), "outside the tail");
     let mut long = batch(1, 5, &[], &[]);
     long[12..16].copy_from_slice(&u32::MAX.to_le_bytes());
-    complains(&long, "out of range");
+    assert_fails_with(&long, "out of range");
     let mut many = batch(1, 5, &[], &[]);
     many[16..20].copy_from_slice(&u32::MAX.to_le_bytes());
-    complains(&many, "do not fit");
+    assert_fails_with(&many, "do not fit");
 }
 
 #[test]
-fn settings_that_lack_what_decides_are_named() {
-    complains(&batch(1, 5, &[spawn(5)], b"hello"), "settings");
-    let lacking = FACTS.replace("\"cold-share\":0.4,", "");
-    complains(
+fn missing_or_contradictory_settings_are_named_in_the_error() {
+    assert_fails_with(&batch(1, 5, &[spawn(5)], b"hello"), "settings");
+    let lacking = SETTINGS.replace("\"cold-share\":0.4,", "");
+    assert_fails_with(
         &batch(1, 5, &[spawn(lacking.len())], lacking.as_bytes()),
         "cold-share",
     );
-    let uneven = FACTS.replace("\"rung-worth\":[0.3,1.0]", "\"rung-worth\":[0.3]");
-    complains(
+    let uneven = SETTINGS.replace("\"rung-worth\":[0.3,1.0]", "\"rung-worth\":[0.3]");
+    assert_fails_with(
         &batch(1, 5, &[spawn(uneven.len())], uneven.as_bytes()),
         "same rungs",
     );
