--- a/crates/policy/src/erlang.rs
+++ b/crates/policy/src/erlang.rs
@@ -4,7 +4,7 @@
 const BATCH_WIDTH: usize = 8;
 /// Steps of the recursion between two looks whether all queues of a batch are finished.
 const STEPS_PER_LOOK: usize = 16;
-/// Reciprocal of the smallest blocking probability that is told from 0: the recursion stops there.
+/// Reciprocal of the smallest blocking probability that is distinguished from 0: the recursion stops there.
 const MAX_RECIPROCAL: f64 = 1e12;
 
 /// A queue without waiting places: an arrival that finds all slots taken is lost.
--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -139,7 +139,7 @@
     pub(crate) fn link_fill(&self, server: &Server) -> f64 {
         let own = server.own_rate_kb / server.link.capacity_kb;
         let estimate = server.link.faded(self.last_tick, self.fleet.mean_link_fill.min(LOW_MARK));
-        // Departure: in a rush every replica's sessions since the measurement count; ours tell how many.
+        // Departure: in a rush every replica's sessions since the measurement count; ours show how many.
         let age_at = |measured_at| self.now.seconds_since(measured_at).min(RUSH_SECONDS);
         let age = server.link.measured_at.map_or(1.0, age_at);
         (estimate + self.fleet.fill_growth * age).max(own)
