--- a/crates/front/src/core/mod.rs
+++ b/crates/front/src/core/mod.rs
@@ -31,7 +31,7 @@
 use crate::recovery_queue::RecoveryQueue;
 use crate::timers::{TimerEntry, Timers};
 use crankpaddle::{
-    Action, Event, Idempotency, PlacementPolicy, RequestId, ServerId, Settings, Time,
+    Action, Event, Idempotency, PlacementPolicy, RequestId, ServerEstimate, Settings, Time,
 };
 use crankpaddle_recovery::{ConservativeBound, StagedRecovery};
 use request::{Player, Request, SessionKey};
@@ -133,11 +133,10 @@
         self.event_observer = Some(observer);
     }
 
-    /// The policy's estimate of each server: the demand on its link and on its uplink as fractions of their capacity, and
-    /// whether it accepts set-ups.
+    /// The policy's estimate of each server, and whether it accepts set-ups.
     #[must_use]
-    pub fn beliefs(&self, now: Time) -> Vec<(ServerId, f64, f64, bool)> {
-        self.policy.beliefs(now)
+    pub fn server_estimates(&self, now: Time) -> Vec<ServerEstimate> {
+        self.policy.server_estimates(now)
     }
 
     /// Number of requests that have no answer yet.
--- a/crates/node/src/event_loop/maintenance.rs
+++ b/crates/node/src/event_loop/maintenance.rs
@@ -66,8 +66,14 @@
         if !tracing::enabled!(tracing::Level::TRACE) || !schedule.load_trace.is_due(now) {
             return;
         }
-        for (server, link, uplink, usable) in self.core.beliefs(Time(now)) {
-            tracing::trace!(server_id = server.0, link, uplink, usable, "load estimate");
+        for estimate in self.core.server_estimates(Time(now)) {
+            tracing::trace!(
+                server_id = estimate.server.0,
+                link = estimate.link_fill,
+                uplink = estimate.uplink_fill,
+                usable = estimate.usable,
+                "load estimate"
+            );
         }
     }
 
