--- a/crates/cli/src/front.rs
+++ b/crates/cli/src/front.rs
@@ -1,5 +1,5 @@
 //! Running a front.
-use crate::{logs, running, Failure};
+use crate::{lifecycle, logging, Failure};
 use crankpaddle_config::Config;
 use crankpaddle_daemon::Daemon;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -21,18 +21,18 @@
 
 /// Runs until it is told to end.
 pub(crate) fn run(config: Config, path: PathBuf) -> Result<ExitCode, Failure> {
-    let _logs = logs::start(&config.log_level, config.log_json);
+    let _logs = logging::start(&config.log_level, config.log_json);
     let signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     crankpaddle_net::start(config.workers);
     let daemon = Daemon::start(config).map_err(|e| Failure::advised(&e))?;
     let daemon = Arc::new(daemon);
     let (reloaded, ended) = (daemon.clone(), daemon.clone());
-    running::follow(
+    lifecycle::follow(
         signals,
         move || reload(&reloaded, &path),
         move || ended.drain(),
     );
-    running::announce(daemon.address());
+    lifecycle::announce(daemon.address());
     daemon.wait();
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,11 +4,11 @@
 #![forbid(unsafe_code)]
 mod api;
 mod front;
-mod lab;
-mod logs;
+mod testbed;
+mod logging;
 mod members;
 mod node;
-mod running;
+mod lifecycle;
 mod traffic;
 
 use clap::{Parser, Subcommand};
@@ -82,7 +82,7 @@
     Traffic(traffic::Traffic),
     /// Stand-ins, scripted days and the judge of the rules; all on loopback, all simulated.
     #[command(subcommand)]
-    Lab(lab::Lab),
+    Lab(testbed::Lab),
 }
 
 fn main() -> ExitCode {
@@ -105,7 +105,7 @@
         Command::Api(api) => api::run(api),
         Command::Members { front, json } => members::run(&front, json),
         Command::Traffic(traffic) => traffic::run(traffic),
-        Command::Lab(lab) => lab::run(lab),
+        Command::Lab(lab) => testbed::run(lab),
     };
     done.unwrap_or_else(|failure| {
         eprintln!("{}", failure.what);
--- a/crates/cli/src/node.rs
+++ b/crates/cli/src/node.rs
@@ -1,5 +1,5 @@
 //! Running a front node.
-use crate::{logs, running, Failure, BAD_FILE};
+use crate::{lifecycle, logging, Failure, BAD_FILE};
 use crankpaddle_node::Node;
 use crankpaddle_node_protocol::config::Config;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -41,7 +41,7 @@
         path.ok_or_else(|| bad("no configuration: set NODE_CONFIG or give --config FILE".into()))?;
     let config = load(&path).map_err(bad)?;
     let memory = usize::try_from(config.limits.memory_mb).unwrap_or(usize::MAX);
-    let _logs = logs::start_bounded(
+    let _logs = logging::start_bounded(
         "warn",
         false,
         memory.saturating_mul(LINES_PER_MB).clamp(64, 65_536),
@@ -54,12 +54,12 @@
     })?;
     let node = Arc::new(node);
     let (reloaded, ended) = (node.clone(), node.clone());
-    running::follow(
+    lifecycle::follow(
         signals,
         move || reload(&reloaded, &path),
         move || ended.drain(),
     );
-    running::announce(node.address());
+    lifecycle::announce(node.address());
     node.wait();
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/cli/src/lab/mod.rs
+++ b/crates/cli/src/testbed/mod.rs
@@ -1,5 +1,5 @@
 //! The laboratory's commands.
-mod fleet;
+mod fleet_case;
 
 use crate::{Failure, BAD_FILE};
 use clap::{Args, Subcommand};
@@ -36,7 +36,7 @@
     #[command(
         after_help = "Examples:\n  crankpaddle lab fleet deaths\n  crankpaddle lab fleet my-case.textproto --fronts 12\n  crankpaddle lab fleet deaths --virtual --fronts 240 --seed 3\n  crankpaddle lab fleet --list"
     )]
-    Fleet(fleet::FleetArgs),
+    Fleet(fleet_case::FleetArgs),
     /// Play two builds of the program against each other in one fleet; exits 1 if a claim or a rule is broken.
     #[command(
         after_help = "The cases mixed (half and half, changing sides) and replace (one by the other under load, a tenth at a time, and back)\nare made for it.\n\nExample:\n  git worktree add ../earlier REVISION && (cd ../earlier && cargo build --release)\n  crankpaddle lab pairs ../earlier/target/release/crankpaddle replace --fronts 10"
@@ -46,7 +46,7 @@
         old: PathBuf,
         /// The case, and how it is played.
         #[command(flatten)]
-        args: fleet::FleetArgs,
+        args: fleet_case::FleetArgs,
         /// The later build's program; this one where it is absent.
         #[arg(long)]
         new: Option<PathBuf>,
@@ -174,8 +174,8 @@
 pub(crate) fn run(lab: Lab) -> Result<ExitCode, Failure> {
     match lab {
         Lab::Day(args) => play(&args),
-        Lab::Fleet(args) => fleet::run(&args),
-        Lab::Pairs { old, args, new } => fleet::pairs(old, new, args),
+        Lab::Fleet(args) => fleet_case::run(&args),
+        Lab::Pairs { old, args, new } => fleet_case::pairs(old, new, args),
         Lab::Judge { day, records } => {
             let day = read_day(&day)?;
             let config = script::fleet_config(&day.fleet).map_err(|p| wrong("fleet", &p))?;
