CLI: one module a subcommand, typed errors, functions that read as steps

Each subcommand has a module and each function fits a screen; failures carry their exit status by name (failed: 1, invalid input: 2); the errors of the node's configuration and of the poll interval are typed, with the same texts. The line '-- what fronts keep:' prints 'Kept' again, which the renaming of Memory had changed.

--- a/crates/cli/src/api.rs
+++ b/crates/cli/src/api.rs
@@ -1,6 +1,6 @@
-//! The commands on the API's descriptions.
-use crate::{Failure, BAD_FILE};
-use clap::Subcommand;
+//! `crankpaddle api`: the published descriptions of the session API.
+use crate::failure::{exit_code_of, CommandFailure};
+use clap::{Args, Subcommand};
 use crankpaddle_api::conform::{ConformanceChecker, Exception, Exchange};
 use crankpaddle_api::{cost, describe, diff};
 use serde_json::Value;
@@ -11,136 +11,141 @@
 
 /// The commands on the API's descriptions.
 #[derive(Subcommand)]
-pub(crate) enum Api {
+pub(crate) enum ApiCommand {
     /// Write the descriptions of this program: AsyncAPI of both versions, OpenAPI, and a page to read offline.
     Describe {
         /// The folder.
         #[arg(default_value = "api")]
         into: PathBuf,
     },
-    /// Class each change from one description to another; exits 1 if one is not compatible for old clients.
+    /// Classify each change from one description to another; exits 1 if one is not compatible for old clients.
     #[command(
         after_help = "Example:\n  crankpaddle api diff api/session.v1.asyncapi.json api/session.v2.asyncapi.json"
     )]
     Diff {
-        /// What clients were made by.
+        /// The description that clients were built from.
         old: PathBuf,
-        /// What is to take its place.
+        /// The description that replaces it.
         new: PathBuf,
     },
-    /// Measure what checking a call costs, beside reading it alone.
+    /// Measure the cost of checking a call, compared with parsing it alone.
     Cost {
-        /// Rounds, in turns.
+        /// Rounds, alternating.
         #[arg(long, default_value_t = 11)]
         rounds: usize,
-        /// Calls in each.
+        /// Calls in each round.
         #[arg(long, default_value_t = 100_000)]
         calls: u32,
     },
-    /// Hold recorded traffic (JSON lines) against published descriptions, in both directions; exits 1 if they disagree.
-    Check {
-        /// The recording.
-        traffic: PathBuf,
-        /// The AsyncAPI document of the version that was spoken.
-        #[arg(long, default_value = "api/session.v2.asyncapi.json")]
-        asyncapi: PathBuf,
-        /// The OpenAPI document.
-        #[arg(long, default_value = "api/openapi.json")]
-        openapi: PathBuf,
-        /// What need not be exchanged, each with its reason.
-        #[arg(long)]
-        exceptions: Option<PathBuf>,
-        /// Only look for what no description allows; a part of a run does not exchange all.
-        #[arg(long)]
-        part: bool,
-    },
+    /// Check recorded traffic (JSON lines) against published descriptions, in both directions; exits 1 if they disagree.
+    Check(CheckArgs),
 }
 
-fn bad(path: &Path, what: impl std::fmt::Display) -> Failure {
-    Failure {
-        what: format!("{}: {what}", path.display()),
-        status: BAD_FILE,
-    }
+/// Which recording is checked against which descriptions.
+#[derive(Args)]
+pub(crate) struct CheckArgs {
+    /// The recording.
+    traffic: PathBuf,
+    /// The AsyncAPI document of the recorded version.
+    #[arg(long, default_value = "api/session.v2.asyncapi.json")]
+    asyncapi: PathBuf,
+    /// The OpenAPI document.
+    #[arg(long, default_value = "api/openapi.json")]
+    openapi: PathBuf,
+    /// Messages that need not occur, each with its reason.
+    #[arg(long)]
+    exceptions: Option<PathBuf>,
+    /// Only report messages that no description allows; a partial recording does not contain all.
+    #[arg(long)]
+    part: bool,
 }
 
-fn read(path: &Path) -> Result<String, Failure> {
-    fs::read_to_string(path).map_err(|e| bad(path, e))
+fn read(path: &Path) -> Result<String, CommandFailure> {
+    fs::read_to_string(path).map_err(|error| CommandFailure::invalid_file(path, error))
 }
 
-fn json(path: &Path) -> Result<Value, Failure> {
-    serde_json::from_str(&read(path)?).map_err(|e| bad(path, e))
+fn read_json(path: &Path) -> Result<Value, CommandFailure> {
+    serde_json::from_str(&read(path)?).map_err(|error| CommandFailure::invalid_file(path, error))
 }
 
-/// Runs a command.
-pub(crate) fn run(api: Api) -> Result<ExitCode, Failure> {
-    match api {
-        Api::Describe { into } => {
-            fs::create_dir_all(&into).map_err(|e| bad(&into, e))?;
-            for (name, text) in describe::files() {
-                let path = into.join(name);
-                fs::write(&path, text).map_err(|e| bad(&path, e))?;
-                println!("{}", path.display());
-            }
-            Ok(ExitCode::SUCCESS)
-        }
-        Api::Diff { old, new } => {
-            let changes = diff::diff(&json(&old)?, &json(&new)?).map_err(|e| Failure {
-                what: e.to_string(),
-                status: BAD_FILE,
-            })?;
-            changes.iter().for_each(|change| println!("{change}"));
-            let is_listed = |c: &diff::Change| {
-                matches!(
-                    c.class,
-                    diff::Class::Compatible | diff::Class::ForOldClients
-                )
-            };
-            println!("{} changes", changes.len());
-            Ok(if changes.iter().all(is_listed) {
-                ExitCode::SUCCESS
-            } else {
-                ExitCode::FAILURE
-            })
-        }
-        Api::Cost { rounds, calls } => {
+/// Runs a command on the API's descriptions.
+///
+/// # Errors
+///
+/// A file can't be read, parsed or written.
+pub(crate) fn run(command: ApiCommand) -> Result<ExitCode, CommandFailure> {
+    match command {
+        ApiCommand::Describe { into } => write_descriptions(&into),
+        ApiCommand::Diff { old, new } => print_diff(&old, &new),
+        ApiCommand::Cost { rounds, calls } => {
             print!("{}", cost::run(rounds, calls)?);
             Ok(ExitCode::SUCCESS)
         }
-        Api::Check {
-            traffic,
-            asyncapi,
-            openapi,
-            exceptions,
-            part,
-        } => {
-            let checker = ConformanceChecker::new(&read(&asyncapi)?, &read(&openapi)?);
-            let mut checker = checker.map_err(|e| Failure {
-                what: e.to_string(),
-                status: BAD_FILE,
-            })?;
-            let lines =
-                BufReader::new(fs::File::open(&traffic).map_err(|e| bad(&traffic, e))?).lines();
-            for (n, line) in lines.enumerate() {
-                let line = line.map_err(|e| bad(&traffic, e))?;
-                let exchange: Exchange = serde_json::from_str(&line)
-                    .map_err(|e| bad(&traffic, format!("line {}: {e}", n + 1)))?;
-                checker.take(&exchange);
-            }
-            let excused: Vec<Exception> = match &exceptions {
-                None => Vec::new(),
-                Some(path) => serde_json::from_str(&read(path)?).map_err(|e| bad(path, e))?,
-            };
-            let mut verdict = checker.verdict(&excused);
-            if part {
-                verdict.unseen.clear();
-                verdict.needless.clear();
-            }
-            println!("{verdict}");
-            Ok(if verdict.agrees() {
-                ExitCode::SUCCESS
-            } else {
-                ExitCode::FAILURE
-            })
-        }
+        ApiCommand::Check(args) => check(&args),
+    }
+}
+
+fn write_descriptions(folder: &Path) -> Result<ExitCode, CommandFailure> {
+    fs::create_dir_all(folder).map_err(|error| CommandFailure::invalid_file(folder, error))?;
+    for (name, text) in describe::files() {
+        let path = folder.join(name);
+        fs::write(&path, text).map_err(|error| CommandFailure::invalid_file(&path, error))?;
+        println!("{}", path.display());
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_diff(old: &Path, new: &Path) -> Result<ExitCode, CommandFailure> {
+    let changes =
+        diff::diff(&read_json(old)?, &read_json(new)?).map_err(CommandFailure::invalid_input)?;
+    for change in &changes {
+        println!("{change}");
+    }
+    println!("{} changes", changes.len());
+    Ok(exit_code_of(changes.iter().all(keeps_old_clients)))
+}
+
+fn keeps_old_clients(change: &diff::Change) -> bool {
+    matches!(
+        change.class,
+        diff::Class::Compatible | diff::Class::ForOldClients
+    )
+}
+
+fn check(args: &CheckArgs) -> Result<ExitCode, CommandFailure> {
+    let mut checker = ConformanceChecker::new(&read(&args.asyncapi)?, &read(&args.openapi)?)
+        .map_err(CommandFailure::invalid_input)?;
+    feed_recording(&mut checker, &args.traffic)?;
+    let exceptions = read_exceptions(args.exceptions.as_deref())?;
+    let mut verdict = checker.verdict(&exceptions);
+    if args.part {
+        verdict.unseen.clear();
+        verdict.needless.clear();
     }
+    println!("{verdict}");
+    Ok(exit_code_of(verdict.agrees()))
+}
+
+fn feed_recording(
+    checker: &mut ConformanceChecker,
+    recording: &Path,
+) -> Result<(), CommandFailure> {
+    let file = fs::File::open(recording)
+        .map_err(|error| CommandFailure::invalid_file(recording, error))?;
+    for (index, line) in BufReader::new(file).lines().enumerate() {
+        let line = line.map_err(|error| CommandFailure::invalid_file(recording, error))?;
+        let exchange: Exchange = serde_json::from_str(&line).map_err(|error| {
+            let line_number = index + 1;
+            CommandFailure::invalid_file(recording, format_args!("line {line_number}: {error}"))
+        })?;
+        checker.take(&exchange);
+    }
+    Ok(())
+}
+
+fn read_exceptions(path: Option<&Path>) -> Result<Vec<Exception>, CommandFailure> {
+    let Some(path) = path else {
+        return Ok(Vec::new());
+    };
+    serde_json::from_str(&read(path)?).map_err(|error| CommandFailure::invalid_file(path, error))
 }
--- a/crates/cli/src/front.rs
+++ b/crates/cli/src/front.rs
@@ -1,38 +1,61 @@
-//! Running a front.
-use crate::{lifecycle, logging, Failure};
-use crankpaddle_config::Config;
-use crankpaddle_daemon::Daemon;
+//! `crankpaddle front`: runs a front until a signal ends it.
+use crate::failure::CommandFailure;
+use crate::{lifecycle, logging};
+use crankpaddle_daemon::{BudgetChangeError, Daemon};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 
-/// Takes the budgets of the file over, or says why they stay as they are.
+/// Why a configuration was not applied.
+#[derive(Debug, thiserror::Error)]
+enum ReloadError {
+    /// The file can't be read or has problems.
+    #[error(transparent)]
+    Load(#[from] crankpaddle_config::Error),
+    /// A setting other than the budgets differs.
+    #[error(transparent)]
+    Change(#[from] BudgetChangeError),
+}
+
+fn apply_budgets(daemon: &Daemon, path: &Path) -> Result<(), ReloadError> {
+    let config = crankpaddle_config::load(path)?;
+    daemon.change_budgets(config)?;
+    Ok(())
+}
+
+/// Applies the file's budgets, or logs why those in force stay.
 fn reload(daemon: &Daemon, path: &Path) {
-    let taken = crankpaddle_config::load(path).map_err(|e| e.to_string());
-    match taken.and_then(|config| daemon.change_budgets(config).map_err(|e| e.to_string())) {
+    let file = path.display();
+    match apply_budgets(daemon, path) {
         Ok(()) => {
-            tracing::info!(path = %path.display(), "reloaded: budgets; all else waits for a restart");
+            tracing::info!(path = %file, "reloaded: budgets; all else waits for a restart");
         }
-        Err(what) => tracing::error!(path = %path.display(), what, "not reloaded"),
+        Err(error) => tracing::error!(path = %file, reason = %error, "not reloaded"),
     }
 }
 
-/// Runs until it is told to end.
-pub(crate) fn run(config: Config, path: PathBuf) -> Result<ExitCode, Failure> {
-    let _logs = logging::start(&config.log_level, config.log_json);
+/// Runs until SIGTERM or SIGINT and the graceful shutdown that follows.
+///
+/// # Errors
+///
+/// The configuration is invalid, or the front can't start with it.
+pub(crate) fn run(path: PathBuf) -> Result<ExitCode, CommandFailure> {
+    let config = crankpaddle_config::load(&path).map_err(CommandFailure::invalid_input)?;
+    let _log_writer = logging::start(&config.log_level, config.log_json);
     let signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     crankpaddle_net::start(config.workers);
-    let daemon = Daemon::start(config).map_err(|e| Failure::advised(&e))?;
+    let daemon = Daemon::start(config).map_err(|error| CommandFailure::with_advice(&error))?;
     let daemon = Arc::new(daemon);
-    let (reloaded, ended) = (daemon.clone(), daemon.clone());
-    lifecycle::follow(
+    let reloading = daemon.clone();
+    let draining = daemon.clone();
+    lifecycle::handle_signals(
         signals,
-        move || reload(&reloaded, &path),
-        move || ended.drain(),
+        move || reload(&reloading, &path),
+        move || draining.drain(),
     );
-    lifecycle::announce(daemon.address());
+    lifecycle::announce_address(daemon.address());
     daemon.wait();
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/cli/src/logging.rs
+++ b/crates/cli/src/logging.rs
@@ -3,24 +3,26 @@
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
-/// Lines that wait for the writer at most; beyond, lines are dropped rather than players kept waiting.
-const WAITING: usize = 65_536;
+/// Lines queued for the writer at most; beyond, lines are dropped rather than players delayed.
+const QUEUED_LINES: usize = 65_536;
 
-const BUFFER: usize = 64 * 1024;
+/// Bytes of the writer's buffer.
+const BUFFER_BYTES: usize = 64 * 1024;
 
-/// Starts the logs; they are written until the guard is dropped. Nothing that a player keeps secret is ever logged:
-/// keys, and so sessions, appear by number only.
+/// Starts the logs; they are written until the guard is dropped. No secret of a player is ever logged: idempotency keys,
+/// and so sessions, appear by number only.
 pub(crate) fn start(level: &str, json: bool) -> WorkerGuard {
-    start_bounded(level, json, WAITING)
+    start_bounded(level, json, QUEUED_LINES)
 }
 
-/// The same with another bound on the lines that wait.
-pub(crate) fn start_bounded(level: &str, json: bool, waiting: usize) -> WorkerGuard {
-    // The writer flushes when no line waits: under load many lines go out with one call of the kernel.
-    let out = BufWriter::with_capacity(BUFFER, std::io::stderr());
+/// As [`start`], with at most `queued_lines` lines queued for the writer.
+pub(crate) fn start_bounded(level: &str, json: bool, queued_lines: usize) -> WorkerGuard {
+    // The writer flushes when its queue is empty: under load one system call writes many lines.
+    let out = BufWriter::with_capacity(BUFFER_BYTES, std::io::stderr());
     let (writer, guard) = NonBlockingBuilder::default()
-        .buffered_lines_limit(waiting)
+        .buffered_lines_limit(queued_lines)
         .finish(out);
+    // `may` is the coroutine runtime's target.
     let filter = EnvFilter::try_from_env("CRANKPADDLE_LOG")
         .unwrap_or_else(|_| EnvFilter::new(format!("{level},may=warn")));
     let logs = tracing_subscriber::fmt()
--- a/crates/cli/src/members.rs
+++ b/crates/cli/src/members.rs
@@ -1,5 +1,5 @@
-//! The command on the members of a fleet.
-use crate::Failure;
+//! `crankpaddle members`: the membership of a fleet as one of its fronts sees it.
+use crate::failure::CommandFailure;
 use crankpaddle_api::describe::Members;
 use std::fmt::Write as _;
 use std::io::Write as _;
@@ -7,17 +7,18 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-/// A front answers within this time, or counts as not there.
-const WITHIN: Duration = Duration::from_secs(3);
+/// A front that does not answer within this time counts as unreachable.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
 
-fn table(of: &Members) -> String {
-    let mut text = format!("{} ({}): {:?}\n", of.name, of.address, of.standing);
+/// The members as columns, then the counters that are not zero.
+fn table(view: &Members) -> String {
+    let mut text = format!("{} ({}): {:?}\n", view.name, view.address, view.standing);
     let _ = writeln!(
         text,
         "{:20} {:8} {:>10} {:>9}  {:20} address",
         "member", "state", "since", "rtt", "said by"
     );
-    for peer in &of.members {
+    for peer in &view.members {
         let rtt = peer.rtt_us.map_or("-".to_owned(), |us| format!("{us} us"));
         let since = format!("{:.1} s", peer.since_ms as f64 / 1000.0);
         let state = format!("{:?}", peer.state).to_lowercase();
@@ -30,30 +31,35 @@
     let _ = writeln!(
         text,
         "datagrams: sent {}, heard {}, dropped {}",
-        of.sent, of.heard, of.dropped
+        view.sent, view.heard, view.dropped
     );
-    let counted = of
+    let counters: Vec<String> = view
         .counted
         .iter()
-        .filter(|(_, n)| **n > 0)
-        .map(|(name, n)| format!("{name} {n}"));
-    let counted: Vec<String> = counted.collect();
-    if !counted.is_empty() {
-        let _ = writeln!(text, "counted: {}", counted.join(", "));
+        .filter(|(_, count)| **count > 0)
+        .map(|(name, count)| format!("{name} {count}"))
+        .collect();
+    if !counters.is_empty() {
+        let _ = writeln!(text, "counted: {}", counters.join(", "));
     }
     text
 }
 
-/// Prints what a front knows of the others.
-pub(crate) fn run(front: &SocketAddr, json: bool) -> Result<ExitCode, Failure> {
-    let of_front = |what: String| Failure {
-        what: format!("{front}: {what}"),
-        status: 1,
-    };
-    let body = crankpaddle_traffic_report::get(front, "/members", WITHIN)
-        .map_err(|e| of_front(e.to_string()))?;
-    let members: Members = serde_json::from_slice(&body)
-        .map_err(|e| of_front(format!("is no word on members: {e}")))?;
+fn fetch(front: &SocketAddr) -> Result<Members, CommandFailure> {
+    let body = crankpaddle_traffic_report::get(front, "/members", FETCH_TIMEOUT)
+        .map_err(|error| CommandFailure::failed(format_args!("{front}: {error}")))?;
+    serde_json::from_slice(&body).map_err(|error| {
+        CommandFailure::failed(format_args!("{front}: is no word on members: {error}"))
+    })
+}
+
+/// Prints the front's view of the members.
+///
+/// # Errors
+///
+/// The front can't be reached, or its answer is no list of members.
+pub(crate) fn run(front: &SocketAddr, json: bool) -> Result<ExitCode, CommandFailure> {
+    let members = fetch(front)?;
     let text = if json {
         serde_json::to_string_pretty(&members)? + "\n"
     } else {
--- a/crates/cli/src/node.rs
+++ b/crates/cli/src/node.rs
@@ -1,65 +1,126 @@
-//! Running a front node.
-use crate::{lifecycle, logging, Failure, BAD_FILE};
+//! `crankpaddle node`: runs a front node until a signal ends it.
+use crate::failure::CommandFailure;
+use crate::{lifecycle, logging};
 use crankpaddle_node::Node;
 use crankpaddle_node_protocol::config::Config;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
+use std::fmt::Display;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 
-/// Log lines that may wait for the writer, for each MB that the machine allows.
-const LINES_PER_MB: usize = 16;
+/// Log lines that may be queued for the writer, for each MB of the node's memory limit.
+const QUEUED_LINES_PER_MB: usize = 16;
 
-fn load(path: &Path) -> Result<Config, String> {
-    let text = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    Config::parse(&text).map_err(|e| format!("{}: {e}", path.display()))
+/// Bounds of the lines queued, whatever the memory limit: enough for a burst, and no more than a front's.
+const QUEUED_LINES_MIN: usize = 64;
+const QUEUED_LINES_MAX: usize = 65_536;
+
+/// Worker threads of the coroutine runtime. Why one: the platform gives a node one core at most.
+const WORKERS: usize = 1;
+
+/// Why a configuration could not be used.
+#[derive(Debug, thiserror::Error)]
+enum ConfigError {
+    /// Neither the flag nor the environment names a file.
+    #[error("no configuration: set NODE_CONFIG or give --config FILE")]
+    NotNamed,
+    /// The file can't be read.
+    #[error("{}: {source}", path.display())]
+    Read {
+        path: PathBuf,
+        source: std::io::Error,
+    },
+    /// The file is no valid configuration.
+    #[error("{}: {reason}", path.display())]
+    Parse { path: PathBuf, reason: String },
+    /// The file changes a setting that needs a restart.
+    #[error("{}: {reason}", path.display())]
+    Mismatch { path: PathBuf, reason: String },
 }
 
-/// Takes what may change of the file over, or says why all stays as it is.
-fn reload(node: &Node, path: &Path) {
-    let taken = load(path).and_then(|config| match node.reload(&config) {
+impl ConfigError {
+    fn parse(path: &Path, reason: impl Display) -> ConfigError {
+        ConfigError::Parse {
+            path: path.to_owned(),
+            reason: reason.to_string(),
+        }
+    }
+}
+
+fn load(path: &Path) -> Result<Config, ConfigError> {
+    let text = std::fs::read(path).map_err(|source| ConfigError::Read {
+        path: path.to_owned(),
+        source,
+    })?;
+    Config::parse(&text).map_err(|error| ConfigError::parse(path, error))
+}
+
+/// Applies the file's directory address, the one setting that may change; returns it.
+fn apply_config(node: &Node, path: &Path) -> Result<SocketAddr, ConfigError> {
+    let config = load(path)?;
+    match node.reload(&config) {
         Ok(()) => Ok(config.nameserver),
-        Err(mismatch) => Err(format!("{}: {mismatch}", path.display())),
-    });
-    match taken {
+        Err(mismatch) => Err(ConfigError::Mismatch {
+            path: path.to_owned(),
+            reason: mismatch.to_string(),
+        }),
+    }
+}
+
+/// Applies the file, or logs why the configuration in force stays.
+fn reload(node: &Node, path: &Path) {
+    match apply_config(node, path) {
         Ok(nameserver) => tracing::info!(%nameserver, "reloaded"),
-        Err(what) => tracing::error!(what, "not reloaded; the configuration in force stays"),
+        Err(error) => {
+            tracing::error!(reason = %error, "not reloaded; the configuration in force stays");
+        }
     }
 }
 
-/// Runs until it is told to end and nothing is owed any more.
-pub(crate) fn run(config: Option<PathBuf>) -> Result<ExitCode, Failure> {
-    // First of all: a signal that comes during the start must find its handler.
+fn config_path(flag: Option<PathBuf>) -> Result<PathBuf, ConfigError> {
+    flag.or_else(|| std::env::var_os("NODE_CONFIG").map(PathBuf::from))
+        .ok_or(ConfigError::NotNamed)
+}
+
+fn invalid_config(error: ConfigError) -> CommandFailure {
+    CommandFailure::invalid_input(format_args!("crankpaddle node: {error}"))
+}
+
+fn start_logs(memory_mb: u64) -> tracing_appender::non_blocking::WorkerGuard {
+    let memory_mb = usize::try_from(memory_mb).unwrap_or(usize::MAX);
+    let queued_lines = memory_mb
+        .saturating_mul(QUEUED_LINES_PER_MB)
+        .clamp(QUEUED_LINES_MIN, QUEUED_LINES_MAX);
+    logging::start_bounded("warn", false, queued_lines)
+}
+
+/// Runs until SIGTERM or SIGINT and the end of the last session.
+///
+/// # Errors
+///
+/// The configuration is missing or invalid, or the node can't listen on its address.
+pub(crate) fn run(config_flag: Option<PathBuf>) -> Result<ExitCode, CommandFailure> {
+    // First of all: a signal that arrives during the start must find its handler.
     let signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
-    let bad = |what: String| Failure {
-        what: format!("crankpaddle node: {what}"),
-        status: BAD_FILE,
-    };
-    let path = config.or_else(|| std::env::var_os("NODE_CONFIG").map(PathBuf::from));
-    let path =
-        path.ok_or_else(|| bad("no configuration: set NODE_CONFIG or give --config FILE".into()))?;
-    let config = load(&path).map_err(bad)?;
-    let memory = usize::try_from(config.limits.memory_mb).unwrap_or(usize::MAX);
-    let _logs = logging::start_bounded(
-        "warn",
-        false,
-        memory.saturating_mul(LINES_PER_MB).clamp(64, 65_536),
-    );
-    crankpaddle_net::start(Some(1)); // There is one core, if that.
+    let path = config_path(config_flag).map_err(invalid_config)?;
+    let config = load(&path).map_err(invalid_config)?;
+    let _log_writer = start_logs(config.limits.memory_mb);
+    crankpaddle_net::start(Some(WORKERS));
     let address = config.listen;
-    let node = Node::start(config).map_err(|e| Failure {
-        what: format!("{address}: {e}"),
-        status: 1,
-    })?;
+    let node = Node::start(config)
+        .map_err(|error| CommandFailure::failed(format_args!("{address}: {error}")))?;
     let node = Arc::new(node);
-    let (reloaded, ended) = (node.clone(), node.clone());
-    lifecycle::follow(
+    let reloading = node.clone();
+    let draining = node.clone();
+    lifecycle::handle_signals(
         signals,
-        move || reload(&reloaded, &path),
-        move || ended.drain(),
+        move || reload(&reloading, &path),
+        move || draining.drain(),
     );
-    lifecycle::announce(node.address());
+    lifecycle::announce_address(node.address());
     node.wait();
     Ok(ExitCode::SUCCESS)
 }
--- /dev/null
+++ b/crates/cli/src/testbed/fleet_processes.rs
@@ -0,0 +1,148 @@
+//! A case of a fleet played with front processes and sockets.
+use super::fleet_case::{print_claims, FleetArgs, RetentionArg};
+use super::inputs::{read_scenario, temporary_folder};
+use super::judge::breach_line;
+use crate::failure::CommandFailure;
+use crankpaddle_fault_simulation::Case;
+use crankpaddle_testbed::fleet::{self, Cost, Memory, Outcome, Plan};
+use crankpaddle_testbed::scenario_runner;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Processes at most: there is a socket for every ordered pair.
+const MAX_PROCESSES: u32 = 100;
+
+/// Breaches, and faults, to print at most.
+const MAX_PRINTED: usize = 20;
+
+const NANOSECONDS_PER_MILLISECOND: f64 = 1e6;
+const NANOSECONDS_PER_SECOND: f64 = 1e9;
+
+/// Plays the case once for each kind of retention; the verdict is that of the first.
+///
+/// # Errors
+///
+/// The case can't be played with processes, or one can't be started.
+pub(super) fn play(case: &Case, args: &FleetArgs) -> Result<ExitCode, CommandFailure> {
+    let mut verdicts = Vec::new();
+    for memory in memories(args.memory) {
+        if case.needs_disks() {
+            eprintln!("-- what fronts keep: {}", printed_name(memory));
+        }
+        verdicts.push(play_once(case, args, memory)?);
+    }
+    Ok(verdicts.into_iter().next().unwrap_or(ExitCode::FAILURE))
+}
+
+fn memories(retention: RetentionArg) -> Vec<Memory> {
+    match retention {
+        RetentionArg::Preserved => vec![Memory::Preserved],
+        RetentionArg::Forgotten => vec![Memory::Forgotten],
+        RetentionArg::Trusted => vec![Memory::Trusted],
+        RetentionArg::All => vec![Memory::Preserved, Memory::Forgotten, Memory::Trusted],
+    }
+}
+
+/// The name in the documented output.
+fn printed_name(memory: Memory) -> &'static str {
+    match memory {
+        Memory::Preserved => "Kept",
+        Memory::Forgotten => "Forgotten",
+        Memory::Trusted => "Trusted",
+    }
+}
+
+fn play_once(case: &Case, args: &FleetArgs, memory: Memory) -> Result<ExitCode, CommandFailure> {
+    check_playable(case, args.fronts)?;
+    crankpaddle_net::start(None);
+    let mut day = read_scenario(&case.day)?;
+    day.rate = args.rate.unwrap_or(day.rate);
+    let plan = plan(args, memory)?;
+    let outcome = fleet::run(case, &day, &plan)?;
+    if let Some(report) = &args.report {
+        scenario_runner::write_records(report, &outcome.records)
+            .map_err(|error| CommandFailure::invalid_file(report, error))?;
+    }
+    print_outcome(case, args.fronts, &outcome);
+    if !outcome.good() {
+        eprintln!("configurations and logs: {}", plan.dir.display());
+        return Ok(ExitCode::FAILURE);
+    }
+    if args.dir.is_none() {
+        let _ = std::fs::remove_dir_all(&plan.dir); // A folder left in the temporary directory is harmless.
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn check_playable(case: &Case, fronts: u32) -> Result<(), CommandFailure> {
+    let reason = if fronts > MAX_PROCESSES {
+        "up to 100 fronts can be processes here; more in virtual time"
+    } else if case.needs_board() {
+        "it writes on the board, which no front does yet; play it with --virtual"
+    } else {
+        return Ok(());
+    };
+    let name = &case.name;
+    Err(CommandFailure::invalid_input(format_args!(
+        "{name}: {reason}"
+    )))
+}
+
+fn plan(args: &FleetArgs, memory: Memory) -> Result<Plan, CommandFailure> {
+    let exe = program_or_this(args.old.as_ref())?;
+    let other = match args.old {
+        Some(_) => Some(program_or_this(args.new.as_ref())?),
+        None => None,
+    };
+    Ok(Plan {
+        exe,
+        other,
+        seed: args.seed,
+        dir: args.dir.clone().unwrap_or_else(temporary_folder),
+        fronts: args.fronts,
+        workers: 1,
+        probe_every: args.probe_every.clone(),
+        peers: !args.without_peers,
+        memory,
+    })
+}
+
+fn program_or_this(program: Option<&PathBuf>) -> std::io::Result<PathBuf> {
+    program.cloned().map_or_else(std::env::current_exe, Ok)
+}
+
+fn print_outcome(case: &Case, fronts: u32, outcome: &Outcome) {
+    let (passed, all) = print_claims(&outcome.played);
+    let verdict = &outcome.verdict;
+    for breach in verdict.breaches.iter().take(MAX_PRINTED) {
+        eprintln!("{}", breach_line(breach));
+    }
+    for fault in outcome.faults.iter().take(MAX_PRINTED) {
+        eprintln!("fault: {fault}");
+    }
+    eprintln!(
+        "sessions: {} asked for, {} answered once, {} played, {} refused, {} failed",
+        verdict.sessions, verdict.answered_once, verdict.played, verdict.refused, verdict.failed
+    );
+    eprintln!("billed twice: {}", verdict.billed_twice);
+    print_cost(outcome.cost, verdict.sessions);
+    println!(
+        "fleet {}: fronts {fronts}, sessions {}, rules kept {}/6, claims kept {passed}/{all}",
+        case.name,
+        verdict.sessions,
+        verdict.passed_rule_count()
+    );
+}
+
+fn print_cost(cost: Cost, sessions: usize) {
+    let milliseconds = |nanoseconds: u64| nanoseconds as f64 / NANOSECONDS_PER_MILLISECOND;
+    let (median, percentile_99) = cost.answered;
+    eprintln!(
+        "cost: half of the answers 'plays' within {:.1} ms, 99 of 100 within {:.1} ms; processor time of all fronts {:.2} s, \
+         {:.2} ms a session asked for",
+        milliseconds(median),
+        milliseconds(percentile_99),
+        cost.cpu as f64 / NANOSECONDS_PER_SECOND,
+        milliseconds(cost.cpu) / sessions.max(1) as f64
+    );
+}
--- /dev/null
+++ b/crates/cli/src/testbed/inputs.rs
@@ -0,0 +1,61 @@
+//! What the testbed's commands read: scenarios and their fleets; and where they write.
+use crate::failure::CommandFailure;
+use crankpaddle_config::{Config, Problem};
+use crankpaddle_testbed::script::{self, Day};
+use std::path::{Path, PathBuf};
+
+/// The folder for files that are not kept; one a process.
+pub(super) fn temporary_folder() -> PathBuf {
+    std::env::temp_dir().join(format!("crankpaddle-{}", std::process::id()))
+}
+
+/// The problems of a script or a configuration, one a line, each behind the file's name.
+pub(super) fn invalid_script(name: &str, problems: &[Problem]) -> CommandFailure {
+    let lines: Vec<String> = problems
+        .iter()
+        .map(|problem| format!("{name}:{problem}"))
+        .collect();
+    CommandFailure::invalid_input(lines.join("\n"))
+}
+
+/// The configuration of a scenario's fleet.
+pub(super) fn fleet_config(day: &Day) -> Result<Config, CommandFailure> {
+    script::fleet_config(&day.fleet).map_err(|problems| invalid_script("fleet", &problems))
+}
+
+/// A scenario by its built-in name or its script's file.
+pub(super) fn read_scenario(name: &str) -> Result<Day, CommandFailure> {
+    let built_in = script::DAYS.iter().find(|(known, _)| *known == name);
+    let parsed = match built_in {
+        Some((_, text)) => parse_built_in(text),
+        None => parse_file(Path::new(name), &read_script(name)?),
+    };
+    parsed.map_err(|problems| invalid_script(name, &problems))
+}
+
+fn parse_built_in(text: &str) -> Result<Day, Vec<Problem>> {
+    script::parse(text, |fleet| {
+        script::built_in_fleet(fleet).ok_or_else(|| format!("{fleet:?} is no built-in fleet"))
+    })
+}
+
+/// A fleet that is no built-in one is a file beside the script.
+fn parse_file(path: &Path, text: &str) -> Result<Day, Vec<Problem>> {
+    let folder = path.parent().unwrap_or(Path::new("."));
+    script::parse(text, |fleet| {
+        if let Some(fleet) = script::built_in_fleet(fleet) {
+            return Ok(fleet);
+        }
+        let fleet_path = folder.join(fleet);
+        std::fs::read_to_string(&fleet_path)
+            .map_err(|error| format!("{}: {error}", fleet_path.display()))
+    })
+}
+
+fn read_script(name: &str) -> Result<String, CommandFailure> {
+    std::fs::read_to_string(name).map_err(|error| {
+        let known: Vec<&str> = script::DAYS.iter().map(|(name, _)| *name).collect();
+        let known = known.join(", ");
+        CommandFailure::invalid_input(format_args!("{name}: {error}; built-in days: {known}"))
+    })
+}
--- /dev/null
+++ b/crates/cli/src/testbed/judge.rs
@@ -0,0 +1,35 @@
+//! `crankpaddle lab judge`: the invariant checker over recorded sessions.
+use super::inputs::{fleet_config, read_scenario};
+use crate::failure::{exit_code_of, CommandFailure};
+use crankpaddle_config::Config;
+use crankpaddle_testbed::invariant_checker::{self, Breach, Rules, Verdict};
+use crankpaddle_testbed::record::Record;
+use crankpaddle_testbed::scenario_runner::{read_records, BLUR, DRAIN_GRACE};
+use std::path::Path;
+use std::process::ExitCode;
+
+/// Checks the records of a scenario against the rules of its fleet.
+pub(super) fn check_records(config: &Config, records: &[Record]) -> Verdict {
+    invariant_checker::judge(&Rules::of(config, DRAIN_GRACE, BLUR), records)
+}
+
+/// The line for a breach of a rule.
+pub(super) fn breach_line(breach: &Breach) -> String {
+    format!("rule {}: {}", breach.rule, breach.what)
+}
+
+/// Checks the records in a file.
+///
+/// # Errors
+///
+/// The scenario or the records can't be read.
+pub(super) fn run(scenario: &str, records: &Path) -> Result<ExitCode, CommandFailure> {
+    let day = read_scenario(scenario)?;
+    let config = fleet_config(&day)?;
+    let verdict = check_records(&config, &read_records(records)?);
+    for breach in &verdict.breaches {
+        println!("{}", breach_line(breach));
+    }
+    println!("day {}: {verdict}", day.name);
+    Ok(exit_code_of(verdict.breaches.is_empty()))
+}
--- /dev/null
+++ b/crates/cli/src/testbed/players.rs
@@ -0,0 +1,80 @@
+//! `crankpaddle lab players`: the players of a scenario against one running front.
+use super::inputs::{fleet_config, read_scenario};
+use super::judge::{breach_line, check_records};
+use crate::failure::{exit_code_of, CommandFailure};
+use crankpaddle_config::Config;
+use crankpaddle_net::{clock, spawn, Stack};
+use crankpaddle_testbed::invariant_checker::Verdict;
+use crankpaddle_testbed::player::PlayerPool;
+use crankpaddle_testbed::record::Recorder;
+use crankpaddle_testbed::scenario_runner;
+use crankpaddle_testbed::script::Day;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The one rule that holds for a front alone: each call has exactly one answer.
+const ANSWERED_ONCE_RULE: u8 = 1;
+
+/// Interval at which the end of the last player is looked for.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Plays the arrivals of a scenario against a front; succeeds if each call was answered once.
+///
+/// # Errors
+///
+/// The scenario can't be read.
+pub(super) fn run(
+    front: SocketAddr,
+    scenario: &str,
+    seed: u64,
+) -> Result<ExitCode, CommandFailure> {
+    let day = read_scenario(scenario)?;
+    crankpaddle_net::start(None);
+    let config = fleet_config(&day)?;
+    let recorder = Recorder::default();
+    let habits = scenario_runner::habits(&day);
+    let players = Arc::new(PlayerPool::new(recorder.clone(), habits));
+    play_arrivals(front, &day, &config, seed, &players);
+    while players.there() > 0 {
+        std::thread::sleep(POLL_INTERVAL);
+    }
+    let verdict = check_records(&config, &recorder.all());
+    print_summary(&verdict, &players);
+    let all_answered_once = verdict.sessions == verdict.answered_once;
+    Ok(exit_code_of(all_answered_once && verdict.sessions > 0))
+}
+
+/// Starts each visit at its time.
+fn play_arrivals(
+    front: SocketAddr,
+    day: &Day,
+    config: &Config,
+    seed: u64,
+    players: &Arc<PlayerPool>,
+) {
+    let start = clock::now();
+    let end = start + day.length;
+    for (offset, mut visit) in scenario_runner::arrivals(day, config, seed) {
+        let wait = (start + offset).saturating_sub(clock::now());
+        std::thread::sleep(Duration::from_nanos(wait));
+        visit.fronts = vec![(0, front)];
+        visit.watch = visit.watch.min(day.length - offset);
+        let players = players.clone();
+        spawn(Stack::Usual, move || players.visit(&visit, end));
+    }
+}
+
+fn print_summary(verdict: &Verdict, players: &PlayerPool) {
+    for breach in &verdict.breaches {
+        if breach.rule == ANSWERED_ONCE_RULE {
+            println!("{}", breach_line(breach));
+        }
+    }
+    println!(
+        "calls {}, answered once {}: played {}, refused {}, failed {}",
+        verdict.sessions, verdict.answered_once, verdict.played, verdict.refused, verdict.failed
+    );
+    println!("tries that found no front: {}", players.found_no_front());
+}
--- /dev/null
+++ b/crates/cli/src/testbed/scenario.rs
@@ -0,0 +1,102 @@
+//! `crankpaddle lab day`: a scripted scenario against front processes.
+use super::cross_zone_summary::print_cross_zone_summary;
+use super::inputs::{read_scenario, temporary_folder};
+use super::judge::breach_line;
+use crate::failure::CommandFailure;
+use clap::Args;
+use crankpaddle_testbed::scenario_runner::{self, Outcome, Play};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// How a scenario is played.
+#[derive(Args)]
+pub(crate) struct ScenarioArgs {
+    /// A built-in name or a script's file.
+    day: String,
+    /// Seed of all random draws; default: a random one, which is printed.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Write all records as JSON lines.
+    #[arg(long, value_name = "FILE")]
+    report: Option<PathBuf>,
+    /// Keep configurations and the fronts' logs here; default: a temporary folder that is removed on success.
+    #[arg(long, value_name = "DIR")]
+    dir: Option<PathBuf>,
+    /// Worker threads of each front.
+    #[arg(long, default_value_t = 1)]
+    workers: u32,
+    /// Leave out the scenario's budgets for cross-zone traffic.
+    #[arg(long)]
+    without_budgets: bool,
+    /// The fronts form a membership.
+    #[arg(long)]
+    peers: bool,
+    /// Breaches to print at most.
+    #[arg(long, default_value_t = 20)]
+    most: usize,
+}
+
+/// Plays the scenario and prints its outcome.
+///
+/// # Errors
+///
+/// The scenario can't be read or played, or the records can't be written.
+pub(super) fn run(args: &ScenarioArgs) -> Result<ExitCode, CommandFailure> {
+    let mut day = read_scenario(&args.day)?;
+    if args.without_budgets {
+        day.fleet = day.fleet_without_budgets.clone();
+    }
+    let seed = args.seed.unwrap_or_else(|| rand::random::<u32>().into());
+    crankpaddle_net::start(None);
+    eprintln!(
+        "day {}: seed {seed}, {} fronts, {} servers, {:.0} s",
+        day.name,
+        day.fronts,
+        day.servers,
+        day.seconds()
+    );
+    let play = Play {
+        exe: std::env::current_exe()?,
+        seed,
+        dir: args.dir.clone().unwrap_or_else(temporary_folder),
+        workers: args.workers,
+        peers: args.peers,
+    };
+    let outcome = scenario_runner::play(&day, &play)?;
+    if let Some(report) = &args.report {
+        scenario_runner::write_records(report, &outcome.records)
+            .map_err(|error| CommandFailure::invalid_file(report, error))?;
+    }
+    print_outcome(&outcome, args.most);
+    print_cross_zone_summary(&day, &outcome);
+    println!("day {}: {}", day.name, outcome.verdict);
+    if !outcome.good() {
+        eprintln!("the fronts' logs are in {}", play.dir.display());
+        return Ok(ExitCode::FAILURE);
+    }
+    if args.dir.is_none() {
+        let _ = std::fs::remove_dir_all(&play.dir); // A folder left in the temporary directory is harmless.
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_outcome(outcome: &Outcome, most_breaches: usize) {
+    let verdict = &outcome.verdict;
+    for breach in verdict.breaches.iter().take(most_breaches) {
+        println!("{}", breach_line(breach));
+    }
+    for fault in &outcome.faults {
+        println!("fault: {fault}");
+    }
+    let (sent_bytes, read_bytes) = outcome.bytes;
+    eprintln!(
+        "played {}, refused {}, failed {}; media bytes sent {sent_bytes} read {read_bytes}; simulated servers, loopback",
+        verdict.played, verdict.refused, verdict.failed
+    );
+    for ((from, to, class), (sent, reported)) in &outcome.flows() {
+        let deviation_percent = (*reported as f64 / (*sent).max(1) as f64 - 1.0) * 100.0;
+        eprintln!(
+            "traffic {from} > {to}, {class}: servers sent {sent}, fronts report {reported} ({deviation_percent:+.2}%)"
+        );
+    }
+}
--- /dev/null
+++ b/crates/cli/src/testbed/servers.rs
@@ -0,0 +1,42 @@
+//! `crankpaddle lab servers`: the simulated servers and the list service of a scenario, without faults.
+use super::inputs::{fleet_config, read_scenario};
+use crate::failure::CommandFailure;
+use crankpaddle_testbed::list_service::{entry, EndpointState, ListService};
+use crankpaddle_testbed::record::Recorder;
+use crankpaddle_testbed::scenario_runner;
+use crankpaddle_testbed::script;
+use crankpaddle_testbed::server::Fleet;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Seed of what the servers draw.
+const SEED: u64 = 1;
+
+/// Runs them for some seconds; prints the configuration of a front for them.
+///
+/// # Errors
+///
+/// The scenario can't be read, or a socket can't be opened.
+pub(super) fn run(scenario: &str, seconds: u64) -> Result<ExitCode, CommandFailure> {
+    let day = read_scenario(scenario)?;
+    crankpaddle_net::start(None);
+    let config = Arc::new(fleet_config(&day)?);
+    let recorder = Recorder::default();
+    let layout = scenario_runner::layout(&day, SEED);
+    let fleet = Fleet::start(config.clone(), &layout, recorder.clone())?;
+    let entries = fleet
+        .servers
+        .iter()
+        .map(|server| entry(&config, server.id, server.address, EndpointState::Ready, 0))
+        .collect();
+    let list = ListService::start(entries, day.list_delay, recorder)?;
+    let front = script::front_block(0, 1, &config.zones[0], &list.address.to_string(), "");
+    println!(
+        "# {} servers; the list service is at {}. A front for them:",
+        day.servers, list.address
+    );
+    println!("{front}{}", day.fleet);
+    std::thread::sleep(Duration::from_secs(seconds));
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/cli/src/traffic.rs
+++ b/crates/cli/src/traffic.rs
@@ -1,23 +1,27 @@
-//! The commands on traffic between halls.
-use crate::Failure;
+//! `crankpaddle traffic`: reports on cross-zone traffic.
+use crate::failure::{exit_code_of, CommandFailure};
 use clap::{Args, Subcommand, ValueEnum};
 use crankpaddle_cross_zone_traffic::report::{merge, TrafficReport};
 use crankpaddle_traffic_report::{csv, fetch, load, svg, table, watch_line};
 use std::io::Write;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
-/// A front answers within this time, or counts as not there.
-const WITHIN: Duration = Duration::from_secs(3);
+/// A front that does not answer within this time counts as unreachable.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// The commands on traffic between halls.
+/// Allowed intervals between two polls of `traffic watch`, seconds.
+const POLL_INTERVAL_SECONDS: RangeInclusive<f64> = 0.01..=86_400.0;
+
+/// The commands on cross-zone traffic.
 #[derive(Subcommand)]
-pub(crate) enum Traffic {
-    /// What crossed, by zones, class, tenant and hour; budgets against their use; overdrafts with their cause.
+pub(crate) enum TrafficCommand {
+    /// Cross-zone bytes by zones, class, tenant and hour; budgets against their use; overdrafts with their cause.
     #[command(
-        after_help = "A front that is named by its address and by its file counts once: its latest word.\n\nExamples:\n  \
+        after_help = "A front that is named by its address and by its file counts once: its latest report.\n\nExamples:\n  \
         crankpaddle traffic report 127.0.0.1:7400 127.0.0.1:7401\n  \
         crankpaddle traffic report --file front-0.traffic --form csv > traffic.csv\n  \
         crankpaddle traffic report 127.0.0.1:7400 --form plot > traffic.svg"
@@ -25,61 +29,86 @@
     Report {
         #[command(flatten)]
         sources: Sources,
-        /// How it is shown.
+        /// The output format.
         #[arg(long, value_enum, default_value = "table")]
-        form: Form,
+        form: OutputFormat,
     },
-    /// Budgets against their use, again and again until interrupted.
+    /// Budgets against their use, polled until interrupted.
     Watch {
         #[command(flatten)]
         sources: Sources,
-        /// Seconds between looks.
-        #[arg(long, default_value_t = 2.0, value_parser = pause)]
+        /// Seconds between polls.
+        #[arg(long, default_value_t = 2.0, value_parser = poll_interval)]
         every: f64,
-        /// End after so many looks.
+        /// End after so many polls.
         #[arg(long)]
         looks: Option<u64>,
     },
 }
 
-fn pause(text: &str) -> Result<f64, String> {
+/// An interval that is no number of seconds in the allowed range.
+#[derive(Debug, thiserror::Error)]
+#[error("allowed: 0.01 to 86400 seconds")]
+struct PollIntervalError;
+
+fn poll_interval(text: &str) -> Result<f64, PollIntervalError> {
     match text.parse::<f64>() {
-        Ok(seconds) if (0.01..=86_400.0).contains(&seconds) => Ok(seconds),
-        _ => Err("allowed: 0.01 to 86400 seconds".into()),
+        Ok(seconds) if POLL_INTERVAL_SECONDS.contains(&seconds) => Ok(seconds),
+        _ => Err(PollIntervalError),
     }
 }
 
-/// Whose reports are put together.
+/// Whose reports are merged.
 #[derive(Args)]
 pub(crate) struct Sources {
-    /// Fronts that run.
+    /// Running fronts.
     #[arg(value_name = "ADDRESS", required_unless_present = "file")]
     fronts: Vec<SocketAddr>,
-    /// Accounts that fronts kept (front.traffic_file).
+    /// Reports that fronts persisted (front.traffic_file).
     #[arg(long, value_name = "FILE")]
     file: Vec<PathBuf>,
 }
 
-/// How a report is shown.
+impl Sources {
+    fn count(&self) -> usize {
+        self.fronts.len() + self.file.len()
+    }
+}
+
+/// The output format of a report.
 #[derive(Clone, Copy, ValueEnum)]
-pub(crate) enum Form {
+pub(crate) enum OutputFormat {
     /// Columns to read.
     Table,
     /// RFC 4180, a line for each flow and hour.
     Csv,
-    /// As fronts tell it.
+    /// As fronts report it.
     Json,
-    /// SVG of late minutes.
+    /// SVG of the latest minutes.
     Plot,
 }
 
-/// The reports together, and what could not be had. A part is never passed off as the whole.
-fn collect(sources: &Sources) -> (TrafficReport, Vec<String>) {
-    let (mut reports, mut missing) = (Vec::new(), Vec::new());
+/// The reports merged, and the sources that had none: a partial report is never passed off as complete.
+struct Collected {
+    report: TrafficReport,
+    missing: Vec<String>,
+}
+
+impl Collected {
+    fn print_missing(&self) {
+        for source in &self.missing {
+            eprintln!("missing: {source}");
+        }
+    }
+}
+
+fn collect(sources: &Sources) -> Collected {
+    let mut reports = Vec::new();
+    let mut missing = Vec::new();
     let fronts = sources
         .fronts
         .iter()
-        .map(|address| (address.to_string(), fetch(address, WITHIN)));
+        .map(|address| (address.to_string(), fetch(address, FETCH_TIMEOUT)));
     let files = sources
         .file
         .iter()
@@ -87,57 +116,66 @@
     for (name, report) in fronts.chain(files) {
         match report {
             Ok(report) => reports.push(report),
-            Err(e) => missing.push(format!("{name}: {e}")),
+            Err(error) => missing.push(format!("{name}: {error}")),
         }
     }
-    (merge(reports), missing)
+    Collected {
+        report: merge(reports),
+        missing,
+    }
+}
+
+fn render(report: &TrafficReport, format: OutputFormat) -> Result<String, CommandFailure> {
+    Ok(match format {
+        OutputFormat::Table => table(report) + "\n",
+        OutputFormat::Csv => csv(report),
+        OutputFormat::Json => serde_json::to_string_pretty(report)? + "\n",
+        OutputFormat::Plot => svg(report).map_err(CommandFailure::failed)?,
+    })
+}
+
+fn print_report(sources: &Sources, format: OutputFormat) -> Result<ExitCode, CommandFailure> {
+    let collected = collect(sources);
+    let text = render(&collected.report, format)?;
+    std::io::stdout().write_all(text.as_bytes())?;
+    collected.print_missing();
+    Ok(exit_code_of(collected.missing.is_empty()))
 }
 
-/// Runs a command.
-pub(crate) fn run(traffic: Traffic) -> Result<ExitCode, Failure> {
-    match traffic {
-        Traffic::Report { sources, form } => {
-            let (report, missing) = collect(&sources);
-            let text = match form {
-                Form::Table => table(&report) + "\n",
-                Form::Csv => csv(&report),
-                Form::Json => serde_json::to_string_pretty(&report)? + "\n",
-                Form::Plot => svg(&report).map_err(|e| Failure {
-                    what: e.to_string(),
-                    status: 1,
-                })?,
-            };
-            std::io::stdout().write_all(text.as_bytes())?;
-            missing.iter().for_each(|what| eprintln!("missing: {what}"));
-            Ok(if missing.is_empty() {
-                ExitCode::SUCCESS
-            } else {
-                ExitCode::FAILURE
-            })
+/// Succeeds when any source had a report at any poll.
+fn watch(
+    sources: &Sources,
+    interval: Duration,
+    polls: Option<u64>,
+) -> Result<ExitCode, CommandFailure> {
+    let mut all_missing = true;
+    for poll in 0.. {
+        if polls.is_some_and(|limit| poll >= limit) {
+            break;
         }
-        Traffic::Watch {
+        if poll > 0 {
+            std::thread::sleep(interval);
+        }
+        let collected = collect(sources);
+        all_missing &= collected.missing.len() == sources.count();
+        writeln!(std::io::stdout(), "{}", watch_line(&collected.report))?;
+        collected.print_missing();
+    }
+    Ok(exit_code_of(!all_missing))
+}
+
+/// Runs a command on cross-zone traffic.
+///
+/// # Errors
+///
+/// The report can't be rendered or written.
+pub(crate) fn run(command: TrafficCommand) -> Result<ExitCode, CommandFailure> {
+    match command {
+        TrafficCommand::Report { sources, form } => print_report(&sources, form),
+        TrafficCommand::Watch {
             sources,
             every,
             looks,
-        } => {
-            let mut all_missing = true;
-            for look in 0.. {
-                if looks.is_some_and(|most| look >= most) {
-                    break;
-                }
-                if look > 0 {
-                    std::thread::sleep(Duration::from_secs_f64(every));
-                }
-                let (report, missing) = collect(&sources);
-                all_missing &= missing.len() == sources.fronts.len() + sources.file.len();
-                writeln!(std::io::stdout(), "{}", watch_line(&report))?;
-                missing.iter().for_each(|what| eprintln!("missing: {what}"));
-            }
-            Ok(if all_missing {
-                ExitCode::FAILURE
-            } else {
-                ExitCode::SUCCESS
-            })
-        }
+        } => watch(&sources, Duration::from_secs_f64(every), looks),
     }
 }
