CLI tests: one support module starts and watches the program; tests named for what they show

Three test files had copies of starting a process, reading its log and waiting for its end; support/mod.rs has one.

--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -1,105 +1,51 @@
-//! Several processes of the program that know each other: killed, stopped, ended and started anew. Judged by a member of the
-//! fleet that the test plays itself, over a socket.
-#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
+//! Front processes that form a membership: killed, stopped, shut down and restarted. Observed by a member of the fleet that the
+//! test runs itself, over a socket.
+mod support;
+
 use crankpaddle_membership::{MemberChange, MemberState, Membership, MembershipConfig, Output};
-use procfs::process::{FDTarget, Process};
-use rustix::process::{kill_process, Pid, Signal};
-use std::io::{BufRead, BufReader};
+use rustix::process::Signal;
 use std::net::{SocketAddr, UdpSocket};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::sync::mpsc::{channel, Receiver};
+use std::path::Path;
 use std::time::{Duration, Instant};
+use support::{
+    folder, front_command, isolated_config, open_sockets, program, run, text, RunningProgram,
+    EXAMPLE_CONFIG, KEY,
+};
 
-const LONG: Duration = Duration::from_secs(60);
-const KEY: &str = "00112233445566778899aabbccddeeff";
-const PROBE_EVERY: Duration = Duration::from_millis(100);
+/// Bound of each wait for a change of membership.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(60);
 
-fn folder(of: &str) -> PathBuf {
-    let dir = std::env::temp_dir().join(format!("crankpaddle-fleet-{of}-{}", std::process::id()));
-    std::fs::create_dir_all(&dir).unwrap();
-    dir
-}
+/// Interval between two health checks of a peer.
+const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 
-struct Front {
-    address: String,
-    child: Child,
-    log: Receiver<String>,
+fn start_front(dir: &Path, name: &str, peers: &str) -> RunningProgram {
+    let path = dir.join(format!("{name}.textproto"));
+    std::fs::write(&path, format!("{}{peers}", isolated_config())).unwrap();
+    RunningProgram::start(&mut front_command(&path))
 }
 
-impl Front {
-    fn start(dir: &Path, name: &str, peers: &str) -> Front {
-        let path = dir.join(format!("{name}.textproto"));
-        let text = include_str!("../../../deploy/front.textproto")
-            .replace("127.0.0.1:7400", "127.0.0.1:0")
-            .replace("127.0.0.1:7300", "127.0.0.1:9");
-        std::fs::write(&path, format!("{text}{peers}")).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_crankpaddle"))
-            .args(["front", "-c"])
-            .arg(&path)
-            .stdout(Stdio::piped())
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut line = String::new();
-        BufReader::new(child.stdout.take().unwrap())
-            .read_line(&mut line)
-            .unwrap();
-        let (tell, log) = channel();
-        let err = BufReader::new(child.stderr.take().unwrap());
-        std::thread::spawn(move || {
-            err.lines()
-                .map_while(Result::ok)
-                .for_each(|line| drop(tell.send(line)));
-        });
-        let address = line.trim().trim_start_matches("listening ").to_owned();
-        let front = Front {
-            address,
-            child,
-            log,
-        };
-        assert!(
-            line.starts_with("listening "),
-            "{line}{:?}",
-            front.log.try_iter().collect::<Vec<_>>()
-        );
-        front
-    }
-
-    fn signal(&self, signal: Signal) {
-        kill_process(Pid::from_raw(self.child.id() as i32).unwrap(), signal).unwrap();
-    }
-
-    fn udp_sockets(&self) -> usize {
-        let process = Process::new(self.child.id() as i32).unwrap();
-        let held: Vec<u64> = process
-            .fd()
-            .unwrap()
-            .filter_map(|fd| match fd.ok()?.target {
-                FDTarget::Socket(inode) => Some(inode),
-                _ => None,
-            })
-            .collect();
-        let udp = process.udp().unwrap().into_iter().map(|u| u.inode);
-        udp.chain(process.udp6().unwrap().into_iter().map(|u| u.inode))
-            .filter(|i| held.contains(i))
-            .count()
-    }
+fn udp_socket_count(front: &RunningProgram) -> usize {
+    let process = front.process();
+    let open = open_sockets(&process);
+    let udp = process.udp().unwrap();
+    let udp6 = process.udp6().unwrap();
+    udp.into_iter()
+        .chain(udp6)
+        .filter(|socket| open.contains(&socket.inode))
+        .count()
 }
 
-impl Drop for Front {
-    fn drop(&mut self) {
-        let _ = self.child.kill(); // It may have ended.
-        let _ = self.child.wait();
-    }
-}
-
-/// A member that the test plays.
+/// A member that the test runs.
 struct Observer {
-    peers: Membership,
+    membership: Membership,
     socket: UdpSocket,
-    began: Instant,
-    changes: Vec<(Instant, MemberChange)>,
+    started_at: Instant,
+    changes: Vec<ObservedChange>,
+}
+
+struct ObservedChange {
+    at: Instant,
+    change: MemberChange,
 }
 
 impl Observer {
@@ -108,21 +54,20 @@
         socket
             .set_read_timeout(Some(Duration::from_millis(5)))
             .unwrap();
-        let settings = MembershipConfig {
+        let config = MembershipConfig {
             name: "observer".into(),
             address: socket.local_addr().unwrap().to_string(),
             epoch: 1,
             incarnation: 1,
             key: u128::from_str_radix(KEY, 16).unwrap().to_be_bytes(),
-            probe_interval: PROBE_EVERY.as_nanos() as u64,
-            probe_timeout: PROBE_EVERY.as_nanos() as u64 * 2 / 5,
+            probe_interval: PROBE_INTERVAL.as_nanos() as u64,
+            probe_timeout: PROBE_INTERVAL.as_nanos() as u64 * 2 / 5,
             ..MembershipConfig::default()
         };
-        let peers = Membership::new(settings, 1, 0);
         Observer {
-            peers,
+            membership: Membership::new(config, 1, 0),
             socket,
-            began: Instant::now(),
+            started_at: Instant::now(),
             changes: Vec::new(),
         }
     }
@@ -131,173 +76,242 @@
         self.socket.local_addr().unwrap()
     }
 
+    /// Nanoseconds since its start: the membership's clock.
+    fn now(&self) -> u64 {
+        self.started_at.elapsed().as_nanos() as u64
+    }
+
+    /// Receives one datagram at most, and lets timers expire.
     fn step(&mut self) {
-        let (mut out, mut bytes) = (Vec::new(), [0u8; 2048]);
-        if let Ok((n, from)) = self.socket.recv_from(&mut bytes) {
-            let now = self.began.elapsed().as_nanos() as u64;
-            self.peers
-                .receive(now, &from.to_string(), &bytes[..n], &mut out);
+        let mut outputs = Vec::new();
+        let mut bytes = [0u8; 2048];
+        if let Ok((length, from)) = self.socket.recv_from(&mut bytes) {
+            let now = self.now();
+            self.membership
+                .receive(now, &from.to_string(), &bytes[..length], &mut outputs);
+        }
+        let now = self.now();
+        self.membership.expire(now, &mut outputs);
+        for output in outputs {
+            self.carry_out(output);
         }
-        self.peers
-            .expire(self.began.elapsed().as_nanos() as u64, &mut out);
-        for output in out {
-            match output {
-                Output::Send { address, bytes, .. } => drop(self.socket.send_to(&bytes, address)),
-                Output::MemberChanged(change) => self.changes.push((Instant::now(), change)),
-                Output::LocalHealthChanged(_) => {}
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Send { address, bytes, .. } => {
+                let _ = self.socket.send_to(&bytes, address); // The front may have ended.
             }
+            Output::MemberChanged(change) => self.changes.push(ObservedChange {
+                at: Instant::now(),
+                change,
+            }),
+            Output::LocalHealthChanged(_) => {}
         }
     }
 
-    /// Goes on until something holds; how long it took.
-    fn until(&mut self, what: &str, holds: impl Fn(&Observer) -> bool) -> Duration {
-        let begun = Instant::now();
+    /// Runs until a condition holds; returns how long it took.
+    fn run_until(&mut self, what: &str, holds: impl Fn(&Observer) -> bool) -> Duration {
+        let since = Instant::now();
         while !holds(self) {
             assert!(
-                begun.elapsed() < LONG,
+                since.elapsed() < CHANGE_TIMEOUT,
                 "{what}: waited in vain; {:?}",
-                self.peers.members()
+                self.membership.members()
             );
             self.step();
         }
-        begun.elapsed()
+        since.elapsed()
     }
 
     fn sees(&self, name: &str, state: MemberState) -> bool {
-        self.peers.state_of(name) == Some(state)
+        self.membership.state_of(name) == Some(state)
     }
 
-    fn accused(&self, name: &str, since: Instant) -> bool {
+    fn sees_all(&self, names: &[&str], state: MemberState) -> bool {
+        names.iter().all(|name| self.sees(name, state))
+    }
+
+    fn changes_of<'a>(
+        &'a self,
+        name: &'a str,
+        since: Instant,
+    ) -> impl Iterator<Item = &'a MemberChange> {
         self.changes
             .iter()
-            .any(|(at, c)| *at >= since && c.name == name && c.state == MemberState::Gone)
+            .filter(move |observed| observed.at >= since && observed.change.name == name)
+            .map(|observed| &observed.change)
+    }
+
+    fn saw_restart(&self, name: &str, since: Instant) -> bool {
+        self.changes_of(name, since).any(|change| change.restarted)
+    }
+
+    /// Fails if any of these members was declared failed since then.
+    fn assert_none_declared_failed(&self, names: &[&str], since: Instant) {
+        for name in names {
+            let states: Vec<MemberState> = self
+                .changes_of(name, since)
+                .map(|change| change.state)
+                .collect();
+            assert!(!states.contains(&MemberState::Gone), "{name}: {states:?}");
+        }
     }
 }
 
-fn peers(name: &str, key: &Path, seed: SocketAddr) -> String {
+fn peers_block(name: &str, key: &Path, seed: SocketAddr) -> String {
     format!(
-        "peers {{ name: {name:?} listen: \"127.0.0.1:0\" seed: \"{seed}\" key_file: {key:?} probe_every: \"100ms\" }}
-"
+        "peers {{ name: {name:?} listen: \"127.0.0.1:0\" seed: \"{seed}\" key_file: {key:?} probe_every: \"100ms\" }}\n"
     )
 }
 
-#[test]
-fn processes_that_are_killed_stopped_ended_and_started_anew_are_known_for_what_they_are() {
-    let dir = folder("known");
-    let key = dir.join("key");
-    std::fs::write(&key, KEY).unwrap();
-    let mut observer = Observer::start();
-    let seed = observer.address();
-    let names = ["a", "b", "c", "d"];
-    let start = |name: &str| Front::start(&dir, name, &peers(name, &key, seed));
-    let mut fronts: Vec<Front> = names.iter().map(|name| start(name)).collect();
-    observer.until("all meet", |o| {
-        names.iter().all(|name| o.sees(name, MemberState::Alive))
-    });
-
-    // Killed: its death is found, nobody else is accused.
-    let since = Instant::now();
-    fronts[0].signal(Signal::KILL);
-    let took = observer.until("a's death is known", |o| o.sees("a", MemberState::Gone));
-    eprintln!(
-        "a death is known after {took:?}, {} rounds",
-        took.as_millis() / PROBE_EVERY.as_millis()
-    );
-    assert!(
-        !["b", "c", "d"]
-            .iter()
-            .any(|name| observer.accused(name, since)),
-        "{:?}",
-        observer.changes
-    );
+/// Four fronts and the observer, who is their seed.
+struct TestFleet {
+    observer: Observer,
+    start: Box<dyn Fn(&str) -> RunningProgram>,
+    fronts: Vec<RunningProgram>,
+}
 
-    // The same name again, from nothing: news, at once.
-    fronts[0] = start("a");
-    let anew = |o: &Observer| {
-        o.sees("a", MemberState::Alive)
-            && o.changes
-                .iter()
-                .any(|(at, c)| *at >= since && c.name == "a" && c.restarted)
-    };
-    observer.until("a's new life is known", anew);
-
-    // Stopped for so long that the others give it up; it comes back by itself and accuses nobody.
-    let since = Instant::now();
-    fronts[1].signal(Signal::STOP);
-    observer.until("b is given up", |o| o.sees("b", MemberState::Gone));
-    fronts[1].log.try_iter().for_each(drop);
-    fronts[1].signal(Signal::CONT);
-    let took = observer.until("b is back", |o| o.sees("b", MemberState::Alive));
-    eprintln!("one that stood still is back after {took:?}");
-    let quiet = Instant::now();
-    observer.until("some rounds pass", |_| quiet.elapsed() > 20 * PROBE_EVERY);
-    // What it found itself; what others told it may be written late.
-    let own = |line: &String| line.contains("Gone") && line.contains("\"by\":\"b\"");
-    let said: Vec<String> = fronts[1].log.try_iter().filter(own).collect();
-    assert!(said.is_empty(), "who stood still accused others: {said:?}");
-    assert!(
-        !["a", "c", "d"]
-            .iter()
-            .any(|name| observer.accused(name, since)),
-        "{:?}",
-        observer.changes
-    );
+const NAMES: [&str; 4] = ["a", "b", "c", "d"];
 
-    // What operators see.
-    let out = Command::new(env!("CARGO_BIN_EXE_crankpaddle"))
-        .args(["members", &fronts[0].address])
-        .output()
-        .unwrap();
-    let told = String::from_utf8(out.stdout).unwrap();
-    assert!(
-        told.starts_with("a (127.0.0.1:")
-            && told.contains("): Connected\n")
-            && told
-                .lines()
-                .any(|l| l.starts_with("d ") && l.contains("alive")),
-        "{told}"
-    );
+impl TestFleet {
+    fn start() -> TestFleet {
+        let dir = folder("fleet-known");
+        let key = dir.join("key");
+        std::fs::write(&key, KEY).unwrap();
+        let mut observer = Observer::start();
+        let seed = observer.address();
+        let start =
+            Box::new(move |name: &str| start_front(&dir, name, &peers_block(name, &key, seed)));
+        let fronts = NAMES.iter().map(|name| start(name)).collect();
+        observer.run_until("all meet", |observer| {
+            observer.sees_all(&NAMES, MemberState::Alive)
+        });
+        TestFleet {
+            observer,
+            start,
+            fronts,
+        }
+    }
+
+    fn kill_a(&mut self) {
+        let since = Instant::now();
+        self.fronts[0].signal(Signal::KILL);
+        let took = self.observer.run_until("a's death is known", |observer| {
+            observer.sees("a", MemberState::Gone)
+        });
+        eprintln!(
+            "a death is known after {took:?}, {} rounds",
+            took.as_millis() / PROBE_INTERVAL.as_millis()
+        );
+        self.observer
+            .assert_none_declared_failed(&["b", "c", "d"], since);
+    }
+
+    /// The same name without any state is a new incarnation, known at once.
+    fn restart_a(&mut self) {
+        let since = Instant::now();
+        self.fronts[0] = (self.start)("a");
+        self.observer
+            .run_until("a's new life is known", |observer| {
+                observer.sees("a", MemberState::Alive) && observer.saw_restart("a", since)
+            });
+    }
+
+    /// Stopped until the others declare it failed; when continued it recovers and declares no other failed.
+    fn stop_and_continue_b(&mut self) {
+        let since = Instant::now();
+        let b = &self.fronts[1];
+        b.signal(Signal::STOP);
+        self.observer.run_until("b is given up", |observer| {
+            observer.sees("b", MemberState::Gone)
+        });
+        drop(b.logged());
+        b.signal(Signal::CONT);
+        let took = self.observer.run_until("b is back", |observer| {
+            observer.sees("b", MemberState::Alive)
+        });
+        eprintln!("one that stood still is back after {took:?}");
+        let back_at = Instant::now();
+        self.observer.run_until("some rounds pass", |_| {
+            back_at.elapsed() > 20 * PROBE_INTERVAL
+        });
+        // Only its own findings count; what others reported may be logged late.
+        let accusations: Vec<String> = b
+            .logged()
+            .into_iter()
+            .filter(|line| line.contains("Gone") && line.contains("\"by\":\"b\""))
+            .collect();
+        assert!(
+            accusations.is_empty(),
+            "who stood still accused others: {accusations:?}"
+        );
+        self.observer
+            .assert_none_declared_failed(&["a", "c", "d"], since);
+    }
+
+    fn check_members_command(&self) {
+        let output = run(&["members", &self.fronts[0].address]);
+        let table = text(&output.stdout);
+        assert!(table.starts_with("a (127.0.0.1:"), "{table}");
+        assert!(table.contains("): Connected\n"), "{table}");
+        let mut lines = table.lines();
+        assert!(
+            lines.any(|line| line.starts_with("d ") && line.contains("alive")),
+            "{table}"
+        );
+    }
 
-    // Ended in order: it says so.
-    fronts[2].signal(Signal::TERM);
-    observer.until("c has left", |o| o.sees("c", MemberState::Left));
-    assert!(names
-        .iter()
-        .filter(|n| **n != "c")
-        .all(|name| observer.sees(name, MemberState::Alive)));
+    fn shut_down_c(&mut self) {
+        self.fronts[2].signal(Signal::TERM);
+        self.observer.run_until("c has left", |observer| {
+            observer.sees("c", MemberState::Left)
+        });
+        assert!(self.observer.sees_all(&["a", "b", "d"], MemberState::Alive));
+    }
 }
 
 #[test]
-fn without_peers_in_its_configuration_a_front_opens_no_socket_for_them_and_bad_ones_are_told() {
-    let dir = folder("none");
-    let alone = Front::start(&dir, "alone", "");
-    assert_eq!(alone.udp_sockets(), 0);
+fn members_detect_a_kill_a_restart_a_stop_and_a_graceful_shutdown() {
+    let mut fleet = TestFleet::start();
+    fleet.kill_a();
+    fleet.restart_a();
+    fleet.stop_and_continue_b();
+    fleet.check_members_command();
+    fleet.shut_down_c();
+}
+
+#[test]
+fn a_front_opens_a_udp_socket_only_when_peers_are_configured() {
+    let dir = folder("fleet-none");
     let key = dir.join("key");
     std::fs::write(&key, KEY).unwrap();
-    let member = Front::start(
-        &dir,
-        "member",
-        &peers("member", &key, "127.0.0.1:9".parse().unwrap()),
-    );
-    assert_eq!(member.udp_sockets(), 1);
+    let peers = peers_block("member", &key, "127.0.0.1:9".parse().unwrap());
+
+    let without_peers = start_front(&dir, "alone", "");
+    let with_peers = start_front(&dir, "member", &peers);
+
+    assert_eq!(udp_socket_count(&without_peers), 0);
+    assert_eq!(udp_socket_count(&with_peers), 1);
+}
 
+#[test]
+fn the_check_names_each_problem_of_a_peers_block() {
+    let path = folder("fleet-check").join("bad.textproto");
     let check = |peers: &str| {
-        let path = dir.join("bad.textproto");
-        let text = include_str!("../../../deploy/front.textproto");
-        std::fs::write(&path, format!("{text}{peers}")).unwrap();
-        let out = Command::new(env!("CARGO_BIN_EXE_crankpaddle"))
-            .arg("check")
-            .arg(&path)
-            .output()
-            .unwrap();
-        (out.status.code(), String::from_utf8(out.stderr).unwrap())
+        std::fs::write(&path, format!("{EXAMPLE_CONFIG}{peers}")).unwrap();
+        program().arg("check").arg(&path).output().unwrap()
     };
-    let (status, said) = check(
+
+    let invalid = check(
         "peers { name: \"two words\" listen: \"nowhere\" seed: \"x\" probe_every: \"1ms\" }\n",
     );
-    assert_eq!(status, Some(2));
+    let valid = check("");
+
+    let problems = text(&invalid.stderr);
+    assert_eq!(invalid.status.code(), Some(2));
     for what in ["name", "listen", "seed", "key_file", "20 ms"] {
-        assert!(said.contains(what), "{what} is not told: {said}");
+        assert!(problems.contains(what), "{what} is not told: {problems}");
     }
-    assert_eq!(check("").0, Some(0));
+    assert_eq!(valid.status.code(), Some(0));
 }
--- a/crates/cli/tests/fleet_case.rs
+++ b/crates/cli/tests/fleet_case.rs
@@ -1,14 +1,33 @@
-//! Several processes of the program with faults between every pair of them: `lab fleet` on a case of its own, and on one whose
-//! claim is not kept. Only what holds on a busy machine too is claimed here: that nobody who lives is accused takes processors that
-//! come to them within some tens of milliseconds at this pace, and is measured at the usual one (`docs/fleet.md`).
-use std::path::PathBuf;
-use std::process::{Command, Output};
+//! `lab fleet` with front processes and faults between every pair of them: a case whose claims hold, one whose claims fail, and
+//! an invalid one. Only claims that hold on a busy machine are made here: that no running member is suspected needs processors
+//! that are scheduled within some tens of milliseconds at this pace, and is measured at the usual one (`docs/fleet.md`).
+mod support;
+
+use std::process::Output;
 use std::sync::{Mutex, PoisonError};
+use support::{folder, program, text};
+
+/// Held while a fleet runs: one at a time, so that they don't compete for processors.
+static FLEET_LOCK: Mutex<()> = Mutex::new(());
+
+/// What a played case printed, and how it exited.
+struct PlayedCase {
+    status: Option<i32>,
+    stdout: String,
+    stderr: String,
+}
 
-/// One fleet at a time.
-static ALONE: Mutex<()> = Mutex::new(());
+impl From<Output> for PlayedCase {
+    fn from(output: Output) -> PlayedCase {
+        PlayedCase {
+            status: output.status.code(),
+            stdout: text(&output.stdout),
+            stderr: text(&output.stderr),
+        }
+    }
+}
 
-const CASE: &str = r#"
+const PASSING_CASE: &str = r#"
 name: "small"
 what: "deaths, a stop, one that is heard by none, a restart, a leave"
 step { see { claim: "all meet" at: "all" of: "all" state: ALIVE bound { within: "30s" } } }
@@ -36,7 +55,7 @@
 step { see { claim: "who leaves says so" at: "!0" of: "0" state: LEFT bound { within: "20s" } } }
 "#;
 
-const BROKEN: &str = r#"
+const FAILING_CASE: &str = r#"
 name: "broken"
 what: "nothing, and much is claimed"
 step { see { claim: "all meet" at: "all" of: "all" state: ALIVE bound { within: "30s" } } }
@@ -47,50 +66,41 @@
 step { accused { claim: "nobody is accused" by: "all" } }
 "#;
 
-fn play(name: &str, text: &str, fronts: u32) -> (Output, String, String) {
-    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
-    let dir: PathBuf =
-        std::env::temp_dir().join(format!("crankpaddle-rig-{name}-{}", std::process::id()));
-    std::fs::create_dir_all(&dir).unwrap();
+fn play(name: &str, script: &str, fronts: u32) -> PlayedCase {
+    let _guard = FLEET_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
+    let dir = folder(&format!("fleet-case-{name}"));
     let case = dir.join("case.textproto");
-    std::fs::write(&case, text).unwrap();
-    let out = Command::new(env!("CARGO_BIN_EXE_crankpaddle"))
+    std::fs::write(&case, script).unwrap();
+    let output = program()
         .args(["lab", "fleet"])
         .arg(&case)
-        .args([
-            "--fronts",
-            &fronts.to_string(),
-            "--seed",
-            "7",
-            "--probe-every",
-            "200ms",
-            "--rate",
-            "10",
-        ])
+        .args(["--fronts", &fronts.to_string()])
+        .args(["--seed", "7"])
+        .args(["--probe-every", "200ms"])
+        .args(["--rate", "10"])
         .arg("--dir")
         .arg(dir.join("fronts"))
         .output()
         .unwrap();
-    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
-    let (said, told) = (text(&out.stdout), text(&out.stderr));
-    (out, said, told)
+    PlayedCase::from(output)
 }
 
 #[test]
-fn faults_between_processes_are_seen_for_what_they_are_and_the_rules_hold() {
-    let (out, said, told) = play("small", CASE, 5);
-    assert!(out.status.success(), "{said}{told}");
+fn members_detect_faults_between_processes_and_the_rules_hold() {
+    let played = play("small", PASSING_CASE, 5);
+    let PlayedCase { stdout, stderr, .. } = &played;
+    assert_eq!(played.status, Some(0), "{stdout}{stderr}");
     assert!(
-        said.starts_with("fleet small: fronts 5, sessions "),
-        "{said}"
+        stdout.starts_with("fleet small: fronts 5, sessions "),
+        "{stdout}"
     );
     assert!(
-        said.contains("rules kept 6/6, claims kept 9/9"),
-        "{said}{told}"
+        stdout.contains("rules kept 6/6, claims kept 9/9"),
+        "{stdout}{stderr}"
     );
-    let sessions = told
+    let sessions = stderr
         .lines()
-        .find(|l| l.starts_with("sessions: "))
+        .find(|line| line.starts_with("sessions: "))
         .unwrap_or_default();
     assert!(
         !sessions.contains(" 0 played"),
@@ -99,21 +109,21 @@
 }
 
 #[test]
-fn a_claim_that_is_not_kept_is_told_and_fails_the_case() {
-    let (out, said, told) = play("broken", BROKEN, 4);
-    assert_eq!(out.status.code(), Some(1), "{said}{told}");
-    assert!(said.contains("claims kept 2/4"), "{said}{told}");
+fn a_claim_that_does_not_hold_is_printed_and_fails_the_case() {
+    let played = play("broken", FAILING_CASE, 4);
+    let PlayedCase { stdout, stderr, .. } = &played;
+    assert_eq!(played.status, Some(1), "{stdout}{stderr}");
+    assert!(stdout.contains("claims kept 2/4"), "{stdout}{stderr}");
     for claim in ["the first is gone", "nobody is accused"] {
-        assert!(told.contains(&format!("BROKEN: {claim}")), "{told}");
+        assert!(stderr.contains(&format!("BROKEN: {claim}")), "{stderr}");
     }
 }
 
 #[test]
-fn what_is_wrong_with_a_case_is_told_and_nothing_is_started() {
-    let (out, _, told) = play("wrong", "name: \"x\"\nstep { kill: \"many\" }\n", 4);
-    assert_eq!(out.status.code(), Some(2), "{told}");
-    assert!(
-        told.contains(":2:") && told.contains("names no fronts"),
-        "{told}"
-    );
+fn an_invalid_case_is_rejected_with_its_line_before_anything_starts() {
+    let played = play("wrong", "name: \"x\"\nstep { kill: \"many\" }\n", 4);
+    let stderr = &played.stderr;
+    assert_eq!(played.status, Some(2), "{stderr}");
+    assert!(stderr.contains(":2:"), "{stderr}");
+    assert!(stderr.contains("names no fronts"), "{stderr}");
 }
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -1,140 +1,91 @@
-//! The program as its users start it: checks, signals, and a whole day with front processes.
-#![allow(clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
-use rustix::process::{kill_process, Pid, Signal};
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::TcpStream;
-use std::path::PathBuf;
-use std::process::{Child, Command, Output, Stdio};
+//! The program as its users start it: configuration checks, signals, and a scripted scenario with front processes.
+mod support;
+
+use rustix::process::Signal;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
+use support::{
+    folder, front_command, isolated_config, read_answer, run, send_health_request, text,
+    RunningProgram, EXAMPLE_CONFIG,
+};
 
-const EXAMPLE: &str = include_str!("../../../deploy/front.textproto");
+/// Bound of the wait for new budgets to be in force.
+const RELOAD_TIMEOUT: Duration = Duration::from_secs(10);
 
-fn program() -> Command {
-    Command::new(env!("CARGO_BIN_EXE_crankpaddle"))
+fn write_file(name: &str, content: &str) -> PathBuf {
+    let path = folder("program").join(name);
+    std::fs::write(&path, content).unwrap();
+    path
 }
 
-fn run(args: &[&str]) -> Output {
-    program().args(args).output().unwrap()
+fn start_front(config_name: &str) -> RunningProgram {
+    let config = write_file(config_name, &isolated_config());
+    RunningProgram::start(&mut front_command(&config))
 }
 
-fn file(name: &str, text: &str) -> PathBuf {
-    let dir = std::env::temp_dir().join(format!("crankpaddle-program-{}", std::process::id()));
-    std::fs::create_dir_all(&dir).unwrap();
-    let path = dir.join(name);
-    std::fs::write(&path, text).unwrap();
-    path
+fn as_str(path: &Path) -> &str {
+    path.to_str().unwrap()
 }
 
-struct Front(Child, String);
-
-impl Front {
-    fn start(name: &str) -> Front {
-        let text = EXAMPLE
-            .replace("127.0.0.1:7400", "127.0.0.1:0")
-            .replace("127.0.0.1:7300", "127.0.0.1:1");
-        let config = file(name, &text);
-        let mut child = program()
-            .args(["front", "-c"])
-            .arg(config)
-            .stdout(Stdio::piped())
-            .stderr(Stdio::null())
-            .spawn()
-            .unwrap();
-        let mut line = String::new();
-        BufReader::new(child.stdout.take().unwrap())
-            .read_line(&mut line)
-            .unwrap();
-        let address = line
-            .trim()
-            .strip_prefix("listening ")
-            .expect("it says where it listens")
-            .to_owned();
-        Front(child, address)
-    }
-
-    fn signal(&self, signal: Signal) {
-        kill_process(Pid::from_raw(self.0.id() as i32).unwrap(), signal).unwrap();
-    }
-
-    fn health(&self) -> String {
-        let mut stream = TcpStream::connect(&self.1).unwrap();
-        stream
-            .write_all(b"GET /health HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
-            .unwrap();
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).unwrap();
-        answer
-    }
+#[test]
+fn a_valid_file_passes_the_check() {
+    let valid = write_file("good.textproto", EXAMPLE_CONFIG);
 
-    fn ends(&mut self) -> std::process::ExitStatus {
-        let until = Instant::now() + Duration::from_secs(30);
-        loop {
-            if let Some(status) = self.0.try_wait().unwrap() {
-                return status;
-            }
-            assert!(Instant::now() < until, "it does not end");
-            std::thread::sleep(Duration::from_millis(10));
-        }
-    }
+    assert!(run(&["check", as_str(&valid)]).status.success());
 }
 
-impl Drop for Front {
-    fn drop(&mut self) {
-        let _ = self.0.kill(); // Most have ended.
-    }
+#[test]
+fn a_file_printed_with_its_defaults_has_the_same_meaning() {
+    let valid = write_file("to-print.textproto", EXAMPLE_CONFIG);
+
+    let printed = run(&["check", "--print", as_str(&valid)]);
+    let config = text(&printed.stdout);
+    let printed_file = write_file("printed.textproto", &config);
+    let printed_again = run(&["check", "--print", as_str(&printed_file)]);
+
+    assert!(printed.status.success());
+    assert!(config.contains("attempts: 3"));
+    assert!(config.contains("note_delay: \"300ms\""));
+    assert_eq!(text(&printed_again.stdout), config);
 }
 
 #[test]
-fn a_good_file_passes_and_a_bad_one_is_refused_with_place_and_status_2() {
-    let good = file("good.textproto", EXAMPLE);
-    assert!(run(&["check", good.to_str().unwrap()]).status.success());
-    // What is printed with the defaults filled in is a file that says the same.
-    let printed = run(&["check", "--print", good.to_str().unwrap()]);
-    let text = String::from_utf8(printed.stdout).unwrap();
-    assert!(
-        printed.status.success()
-            && text.contains("attempts: 3")
-            && text.contains("note_delay: \"300ms\"")
-    );
-    let again = run(&[
-        "check",
-        "--print",
-        file("printed.textproto", &text).to_str().unwrap(),
-    ]);
-    assert_eq!(String::from_utf8(again.stdout).unwrap(), text);
-    let bad = file(
+fn an_invalid_file_is_rejected_with_each_place_and_status_2() {
+    let invalid = write_file(
         "bad.textproto",
-        &EXAMPLE
+        &EXAMPLE_CONFIG
             .replace("index: 0", "index: 5")
             .replace("cells: 4", "cels: 4"),
     );
     for args in [
-        ["check", bad.to_str().unwrap()].as_slice(),
-        ["front", "-c", bad.to_str().unwrap()].as_slice(),
+        ["check", as_str(&invalid)].as_slice(),
+        ["front", "-c", as_str(&invalid)].as_slice(),
     ] {
-        let out = run(args);
-        let said = String::from_utf8_lossy(&out.stderr);
-        assert_eq!(out.status.code(), Some(2), "{said}");
-        for what in [
+        let output = run(args);
+        let stderr = text(&output.stderr);
+        assert_eq!(output.status.code(), Some(2), "{stderr}");
+        for problem in [
             "bad.textproto:2:16: front.index: is 5; allowed: 0 to 1",
             "no field \"cels\" in fleet",
         ] {
-            assert!(said.contains(what), "{what}: {said}");
+            assert!(stderr.contains(problem), "{problem}: {stderr}");
         }
-        assert!(out.stdout.is_empty(), "nothing was started");
+        assert!(output.stdout.is_empty(), "nothing was started");
     }
-    let none = run(&["check", "no-such-file"]);
-    assert_eq!(none.status.code(), Some(2));
+    let absent = run(&["check", "no-such-file"]);
+    assert_eq!(absent.status.code(), Some(2));
 }
 
 #[test]
 fn an_address_in_use_is_an_error_and_not_shared() {
-    let front = Front::start("in-use.textproto");
-    let text = EXAMPLE.replace("127.0.0.1:7400", &front.1);
-    let second = file("second.textproto", &text);
-    let out = run(&["front", "-c", second.to_str().unwrap()]);
-    assert_eq!(out.status.code(), Some(1));
-    assert!(String::from_utf8_lossy(&out.stderr).contains(&front.1));
+    let front = start_front("in-use.textproto");
+    let config = EXAMPLE_CONFIG.replace("127.0.0.1:7400", &front.address);
+    let second = write_file("second.textproto", &config);
+
+    let output = run(&["front", "-c", as_str(&second)]);
+
+    assert_eq!(output.status.code(), Some(1));
+    assert!(text(&output.stderr).contains(&front.address));
 }
 
 #[test]
@@ -143,138 +94,147 @@
         ("term.textproto", Signal::TERM),
         ("int.textproto", Signal::INT),
     ] {
-        let mut front = Front::start(name);
+        let mut front = start_front(name);
         assert!(front.health().starts_with("HTTP/1.1 200 "));
         front.signal(signal);
-        assert_eq!(front.ends().code(), Some(0));
+        assert_eq!(front.wait_for_exit().code(), Some(0));
     }
 }
 
 #[test]
-fn a_front_that_was_stopped_goes_on() {
-    let mut front = Front::start("stopped.textproto");
+fn a_front_that_was_stopped_answers_when_it_is_continued() {
+    let mut front = start_front("stopped.textproto");
     front.signal(Signal::STOP);
-    let mut stream = TcpStream::connect(&front.1).unwrap();
-    stream
-        .write_all(b"GET /health HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
-        .unwrap();
+    let mut stream = front.connect();
+    send_health_request(&mut stream);
+
     front.signal(Signal::CONT);
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).unwrap();
+
+    let answer = read_answer(&mut stream);
     assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
     front.signal(Signal::TERM);
-    assert_eq!(front.ends().code(), Some(0));
+    assert_eq!(front.wait_for_exit().code(), Some(0));
 }
 
-#[test]
-fn hup_takes_new_budgets_over_and_a_bad_file_changes_nothing() {
-    let mut front = Front::start("reloaded.textproto");
-    let text = EXAMPLE
-        .replace("127.0.0.1:7400", "127.0.0.1:0")
-        .replace("127.0.0.1:7300", "127.0.0.1:1");
-    let budget = "budget { from: \"south\" to: \"north\" rate: \"5MB/s\" burst: \"1GiB\" }\n";
-    let report = |form: &str| run(&["traffic", "report", &front.1, "--form", form]);
-    let rates = || {
-        let out = report("json");
-        assert!(
-            out.status.success(),
-            "{}",
-            String::from_utf8_lossy(&out.stderr)
-        );
-        String::from_utf8(out.stdout)
-            .unwrap()
-            .matches("\"rate_kb\": 5000.0")
-            .count()
-    };
-    assert_eq!(rates(), 0);
-    let until = Instant::now() + Duration::from_secs(20);
-    let reload = |text: &str, done: &dyn Fn() -> bool| {
-        file("reloaded.textproto", text);
-        front.signal(Signal::HUP);
-        while !done() {
-            assert!(Instant::now() < until, "waited in vain");
-            std::thread::sleep(Duration::from_millis(20));
-        }
-    };
-    reload(&format!("{text}{budget}"), &|| rates() == 1);
-    assert!(String::from_utf8_lossy(&report("table").stdout).contains("BUDGET kB/s"));
-    assert!(String::from_utf8_lossy(&report("csv").stdout).starts_with("from,to,class"));
-    // A file that is wrong, or needs a restart, leaves the budgets as they are; a good one after it is taken.
-    file("reloaded.textproto", "nonsense {");
+const BUDGET: &str = "budget { from: \"south\" to: \"north\" rate: \"5MB/s\" burst: \"1GiB\" }\n";
+
+/// The budget again, for one class.
+fn class_budget() -> String {
+    BUDGET
+        .replace("} }", "}")
+        .replace("rate:", "class: \"preview\" rate:")
+}
+
+fn traffic_report(front: &RunningProgram, form: &str) -> String {
+    let output = run(&["traffic", "report", &front.address, "--form", form]);
+    assert!(output.status.success(), "{}", text(&output.stderr));
+    text(&output.stdout)
+}
+
+/// How many budgets of the test's rate are in force.
+fn budget_count(front: &RunningProgram) -> usize {
+    traffic_report(front, "json")
+        .matches("\"rate_kb\": 5000.0")
+        .count()
+}
+
+/// Reloads the configuration and polls the front until this many budgets are in force.
+fn reload(front: &RunningProgram, config: &str, budgets: usize) {
+    write_file("reloaded.textproto", config);
     front.signal(Signal::HUP);
-    file(
-        "reloaded.textproto",
-        &text.replace("siblings: 2", "siblings: 3"),
-    );
+    let deadline = Instant::now() + RELOAD_TIMEOUT;
+    while budget_count(front) != budgets {
+        assert!(Instant::now() < deadline, "waited in vain");
+    }
+}
+
+/// Has the front read a configuration that it must reject.
+fn reload_rejected(front: &RunningProgram, config: &str) {
+    write_file("reloaded.textproto", config);
     front.signal(Signal::HUP);
-    assert_eq!(rates(), 1);
-    reload(
-        &format!(
-            "{text}{budget}{}",
-            budget
-                .replace("} }", "}")
-                .replace("rate:", "class: \"preview\" rate:")
-        ),
-        &|| rates() == 2,
-    );
+    front.wait_for_log("not reloaded");
+}
+
+#[test]
+fn hup_applies_new_budgets_and_a_rejected_file_changes_nothing() {
+    let mut front = start_front("reloaded.textproto");
+    let config = isolated_config();
+    assert_eq!(budget_count(&front), 0);
+
+    reload(&front, &format!("{config}{BUDGET}"), 1);
+    assert!(traffic_report(&front, "table").contains("BUDGET kB/s"));
+    assert!(traffic_report(&front, "csv").starts_with("from,to,class"));
+
+    // A file that is invalid, or needs a restart, leaves the budgets as they are; a valid one after it is applied.
+    reload_rejected(&front, "nonsense {");
+    reload_rejected(&front, &config.replace("siblings: 2", "siblings: 3"));
+    assert_eq!(budget_count(&front), 1);
+    reload(&front, &format!("{config}{BUDGET}{}", class_budget()), 2);
+
     let watched = run(&[
-        "traffic", "watch", &front.1, "--every", "0.05", "--looks", "2",
+        "traffic",
+        "watch",
+        &front.address,
+        "--every",
+        "0.05",
+        "--looks",
+        "2",
     ]);
-    assert_eq!(
-        String::from_utf8_lossy(&watched.stdout)
-            .matches("of 5000 kB/s (0%)")
-            .count(),
-        4
-    );
-    // Who can't be asked is named, and the rest not passed off as the whole.
-    let part = run(&["traffic", "report", &front.1, "127.0.0.1:1"]);
-    assert!(
-        !part.status.success()
-            && String::from_utf8_lossy(&part.stderr).contains("missing: 127.0.0.1:1")
-    );
+    let lines = text(&watched.stdout);
+    assert_eq!(lines.matches("of 5000 kB/s (0%)").count(), 4);
+
     front.signal(Signal::TERM);
-    assert_eq!(front.ends().code(), Some(0));
+    assert_eq!(front.wait_for_exit().code(), Some(0));
 }
 
-/// Three front processes, twelve stand-in servers, and in eight seconds a hang, failures, a stopped front (SIGSTOP), a
-/// lost hall, a drain and a lost list service.
 #[test]
-fn a_day_with_troubles_keeps_all_rules() {
+fn a_front_that_is_unreachable_is_named_and_fails_the_report() {
+    let front = start_front("partial.textproto");
+
+    let partial = run(&["traffic", "report", &front.address, "127.0.0.1:1"]);
+
+    assert!(!partial.status.success());
+    assert!(text(&partial.stderr).contains("missing: 127.0.0.1:1"));
+}
+
+/// Three front processes, twelve simulated servers, and in eight seconds a hang, failures, a stopped front (SIGSTOP), the loss
+/// of a zone, a drain and the loss of the list service. The checker has the same verdict from the report alone, and another
+/// where the report is forged.
+#[test]
+fn a_scenario_with_faults_passes_all_rules_and_a_forged_report_fails() {
     let seed = "5";
-    let report = file("smoke.jsonl", "");
-    let out = run(&[
+    let report = write_file("smoke.jsonl", "");
+    let played = run(&[
         "lab",
         "day",
         "smoke",
         "--seed",
         seed,
         "--report",
-        report.to_str().unwrap(),
+        as_str(&report),
     ]);
-    let (said, more) = (
-        String::from_utf8_lossy(&out.stdout),
-        String::from_utf8_lossy(&out.stderr),
-    );
-    println!("seed {seed}: {said}{more}");
+    let (stdout, stderr) = (text(&played.stdout), text(&played.stderr));
+    println!("seed {seed}: {stdout}{stderr}");
     assert!(
-        out.status.success(),
-        "seed {seed}, {}: {said}{more}",
-        out.status
+        played.status.success(),
+        "seed {seed}, {}: {stdout}{stderr}",
+        played.status
     );
-    assert!(said.contains("billed twice 0, rules kept 6/6"), "{said}");
-    // The judge comes to the same from the report alone, and to another where the report is not right.
-    let again = run(&["lab", "judge", "smoke", report.to_str().unwrap()]);
-    assert_eq!(
-        String::from_utf8_lossy(&again.stdout).lines().last(),
-        said.lines().last()
+    assert!(
+        stdout.contains("billed twice 0, rules kept 6/6"),
+        "{stdout}"
     );
-    let text = std::fs::read_to_string(&report).unwrap();
-    let billed = text
+
+    let judged = run(&["lab", "judge", "smoke", as_str(&report)]);
+    assert_eq!(text(&judged.stdout).lines().last(), stdout.lines().last());
+
+    let records = std::fs::read_to_string(&report).unwrap();
+    let billed = records
         .lines()
-        .find(|l| l.contains("\"billed\""))
+        .find(|line| line.contains("\"billed\""))
         .expect("something was billed");
-    let forged = file("forged.jsonl", &format!("{text}{billed}\n"));
-    let caught = run(&["lab", "judge", "smoke", forged.to_str().unwrap()]);
-    assert!(!caught.status.success());
-    assert!(String::from_utf8_lossy(&caught.stdout).contains("billed twice 1, rules kept 5/6"));
+    let forged = write_file("forged.jsonl", &format!("{records}{billed}\n"));
+    let judged = run(&["lab", "judge", "smoke", as_str(&forged)]);
+    assert!(!judged.status.success());
+    assert!(text(&judged.stdout).contains("billed twice 1, rules kept 5/6"));
 }
