--- a/crates/cli/tests/deployments.rs
+++ b/crates/cli/tests/deployments.rs
@@ -1,8 +1,8 @@
-//! The front node serves any customer's deployment: nothing of one stands in its sources.
+//! The front node serves any customer's deployment: no name of a particular one is in its sources.
 use std::path::{Path, PathBuf};
 
 /// The packages that `crankpaddle node` is made of.
-const PACKAGES: [&str; 8] = [
+const NODE_PACKAGES: [&str; 8] = [
     "policy",
     "front",
     "node",
@@ -13,8 +13,8 @@
     "http",
 ];
 
-/// Names of classes, zones, kinds, tenants and sites of the deployments that are known; those of `deploy/sites` come on top.
-const NAMES: [&str; 24] = [
+/// Names of classes, zones, kinds, tenants and sites of known deployments, besides those in `deploy/sites`.
+const DEPLOYMENT_NAMES: [&str; 24] = [
     "licensed-view",
     "clip-servers",
     "std-3core",
@@ -41,21 +41,21 @@
     "media-boxes",
 ];
 
-fn sources(folder: &Path, found: &mut Vec<PathBuf>) {
+fn collect_sources(folder: &Path, found: &mut Vec<PathBuf>) {
     for entry in std::fs::read_dir(folder).unwrap() {
         let path = entry.unwrap().path();
         if path.is_dir() {
-            sources(&path, found);
-        } else if path.extension().is_some_and(|e| e == "rs")
-            && path.file_name().is_some_and(|n| n != "tests.rs")
+            collect_sources(&path, found);
+        } else if path.extension().is_some_and(|extension| extension == "rs")
+            && path.file_name().is_some_and(|name| name != "tests.rs")
         {
             found.push(path);
         }
     }
 }
 
-/// A source's code: no comments, and nothing from its own tests on.
-fn code(text: &str) -> String {
+/// The code of a source without its comments, up to its own tests.
+fn code_of(text: &str) -> String {
     let code = text.split("#[cfg(test)]").next().unwrap_or_default();
     code.lines()
         .filter(|line| !line.trim_start().starts_with("//"))
@@ -63,12 +63,12 @@
         .join("\n")
 }
 
-/// What stands between quotes behind `name =`, and in lists behind `zones =`, in the deployments of our own.
-fn own_names() -> Vec<String> {
+/// The quoted values of `name =` and `zones =` in the deployments of this repository.
+fn repository_names() -> Vec<String> {
     let sites = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/sites");
     let changes = std::fs::read_dir(sites)
         .unwrap()
-        .map(|e| e.unwrap().path().join("changes.toml"));
+        .map(|entry| entry.unwrap().path().join("changes.toml"));
     let texts: Vec<String> = changes
         .filter_map(|path| std::fs::read_to_string(path).ok())
         .collect();
@@ -82,24 +82,24 @@
 }
 
 #[test]
-fn no_name_of_a_deployment_stands_in_the_sources_of_the_front_node() {
+fn no_name_of_a_deployment_is_in_the_sources_of_the_front_node() {
     let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
     let mut files = Vec::new();
-    PACKAGES
-        .iter()
-        .for_each(|package| sources(&crates.join(package).join("src"), &mut files));
+    for package in NODE_PACKAGES {
+        collect_sources(&crates.join(package).join("src"), &mut files);
+    }
     assert!(files.len() > 50, "{} sources", files.len());
-    let own = own_names();
+    let own = repository_names();
     assert!(
         own.iter().any(|name| name == "dispatch-call") && own.iter().any(|name| name == "quay"),
         "{own:?}"
     );
-    let names: Vec<&str> = NAMES
+    let names: Vec<&str> = DEPLOYMENT_NAMES
         .into_iter()
         .chain(own.iter().map(String::as_str))
         .collect();
     for file in files {
-        let code = code(&std::fs::read_to_string(&file).unwrap()).to_lowercase();
+        let code = code_of(&std::fs::read_to_string(&file).unwrap()).to_lowercase();
         for name in &names {
             assert!(
                 !code.contains(&format!("\"{name}")),
