--- a/crates/cli/src/front.rs
+++ b/crates/cli/src/front.rs
@@ -4,9 +4,23 @@
 use crankpaddle_daemon::{BudgetChangeError, Daemon};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::sync::Arc;
+
+impl lifecycle::Service for Daemon {
+    fn address(&self) -> SocketAddr {
+        Daemon::address(self)
+    }
+
+    fn drain(&self) {
+        Daemon::drain(self);
+    }
+
+    fn wait(&self) {
+        Daemon::wait(self);
+    }
+}
 
 /// Why a configuration was not applied.
 #[derive(Debug, thiserror::Error)]
@@ -47,15 +61,6 @@
     let signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     crankpaddle_net::start(config.workers);
     let daemon = Daemon::start(config).map_err(|error| CommandFailure::with_advice(&error))?;
-    let daemon = Arc::new(daemon);
-    let reloading = daemon.clone();
-    let draining = daemon.clone();
-    lifecycle::handle_signals(
-        signals,
-        move || reload(&reloading, &path),
-        move || draining.drain(),
-    );
-    lifecycle::announce_address(daemon.address());
-    daemon.wait();
+    lifecycle::run_until_drained(daemon, signals, move |daemon| reload(daemon, &path));
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/cli/src/lifecycle.rs
+++ b/crates/cli/src/lifecycle.rs
@@ -3,9 +3,40 @@
 use signal_hook::iterator::Signals;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// A server process that runs until it has drained.
+pub(crate) trait Service: Send + Sync + 'static {
+    /// Where it listens.
+    fn address(&self) -> SocketAddr;
+
+    /// Begins the graceful shutdown.
+    fn drain(&self);
+
+    /// Blocks until the shutdown is complete.
+    fn wait(&self);
+}
+
+/// Runs the service until a signal ends it: SIGHUP reloads, each other signal begins the graceful shutdown.
+pub(crate) fn run_until_drained<S: Service>(
+    service: S,
+    signals: Signals,
+    reload: impl Fn(&S) + Send + 'static,
+) {
+    let service = Arc::new(service);
+    let signalled = service.clone();
+    let draining = service.clone();
+    handle_signals(
+        signals,
+        move || reload(&signalled),
+        move || draining.drain(),
+    );
+    announce_address(service.address());
+    service.wait();
+}
 
 /// Calls `reload` at each SIGHUP and `shut_down` at each other signal, on a thread of its own.
-pub(crate) fn handle_signals(
+fn handle_signals(
     mut signals: Signals,
     reload: impl Fn() + Send + 'static,
     shut_down: impl Fn() + Send + 'static,
@@ -22,7 +53,7 @@
 }
 
 /// Prints the address on which the process listens.
-pub(crate) fn announce_address(address: SocketAddr) {
+fn announce_address(address: SocketAddr) {
     let mut out = std::io::stdout().lock();
     // Why ignored: the parent process may have closed its end of the pipe.
     let _ = writeln!(out, "listening {address}").and_then(|()| out.flush());
--- a/crates/cli/src/node.rs
+++ b/crates/cli/src/node.rs
@@ -9,7 +9,6 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::sync::Arc;
 
 /// Log lines that may be queued for the writer, for each MB of the node's memory limit.
 const QUEUED_LINES_PER_MB: usize = 16;
@@ -21,6 +20,20 @@
 /// Worker threads of the coroutine runtime. Why one: the platform gives a node one core at most.
 const WORKERS: usize = 1;
 
+impl lifecycle::Service for Node {
+    fn address(&self) -> SocketAddr {
+        Node::address(self)
+    }
+
+    fn drain(&self) {
+        Node::drain(self);
+    }
+
+    fn wait(&self) {
+        Node::wait(self);
+    }
+}
+
 /// Why a configuration could not be used.
 #[derive(Debug, thiserror::Error)]
 enum ConfigError {
@@ -112,15 +125,6 @@
     let address = config.listen;
     let node = Node::start(config)
         .map_err(|error| CommandFailure::failed(format_args!("{address}: {error}")))?;
-    let node = Arc::new(node);
-    let reloading = node.clone();
-    let draining = node.clone();
-    lifecycle::handle_signals(
-        signals,
-        move || reload(&reloading, &path),
-        move || draining.drain(),
-    );
-    lifecycle::announce_address(node.address());
-    node.wait();
+    lifecycle::run_until_drained(node, signals, move |node| reload(node, &path));
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/cli/src/testbed/benchmarks.rs
+++ b/crates/cli/src/testbed/benchmarks.rs
@@ -1,5 +1,5 @@
 //! `crankpaddle lab bench`, `lab account` and `lab relay`: the benchmarks and the relay that one of them compares with.
-use super::inputs::temporary_folder;
+use super::files::temporary_folder;
 use crate::failure::{exit_code_of, CommandFailure};
 use clap::Args;
 use crankpaddle_benchmark::{account, bench, relay};
--- a/crates/cli/src/testbed/inputs.rs
+++ b/crates/cli/src/testbed/files.rs
@@ -1,6 +1,8 @@
-//! What the testbed's commands read: scenarios and their fleets; and where they write.
+//! The files of the testbed's commands: scenarios and their fleets, records, and the folder of a run.
 use crate::failure::CommandFailure;
 use crankpaddle_config::{Config, Problem};
+use crankpaddle_testbed::record::Record;
+use crankpaddle_testbed::scenario_runner;
 use crankpaddle_testbed::script::{self, Day};
 use std::path::{Path, PathBuf};
 
@@ -59,3 +61,12 @@
         CommandFailure::invalid_input(format_args!("{name}: {error}; built-in days: {known}"))
     })
 }
+
+/// Writes the records of a run, where a file was asked for.
+pub(super) fn write_report(file: Option<&Path>, records: &[Record]) -> Result<(), CommandFailure> {
+    let Some(file) = file else {
+        return Ok(());
+    };
+    scenario_runner::write_records(file, records)
+        .map_err(|error| CommandFailure::invalid_file(file, error))
+}
--- a/crates/cli/src/testbed/fleet_case.rs
+++ b/crates/cli/src/testbed/fleet_case.rs
@@ -1,6 +1,6 @@
 //! `crankpaddle lab fleet` and `lab pairs`: a case of a fleet's membership, in simulated time or with processes.
+use super::files::invalid_script;
 use super::fleet_processes;
-use super::inputs::invalid_script;
 use crate::failure::{exit_code_of, CommandFailure};
 use clap::Args;
 use crankpaddle_fault_simulation::{Case, Net, Played, CASES};
--- a/crates/cli/src/testbed/fleet_processes.rs
+++ b/crates/cli/src/testbed/fleet_processes.rs
@@ -1,11 +1,10 @@
 //! A case of a fleet played with front processes and sockets.
+use super::files::{read_scenario, temporary_folder, write_report};
 use super::fleet_case::{print_claims, FleetArgs, RetentionArg};
-use super::inputs::{read_scenario, temporary_folder};
 use super::judge::breach_line;
 use crate::failure::CommandFailure;
 use crankpaddle_fault_simulation::Case;
 use crankpaddle_testbed::fleet::{self, Cost, Memory, Outcome, Plan};
-use crankpaddle_testbed::scenario_runner;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -59,10 +58,7 @@
     day.rate = args.rate.unwrap_or(day.rate);
     let plan = plan(args, memory)?;
     let outcome = fleet::run(case, &day, &plan)?;
-    if let Some(report) = &args.report {
-        scenario_runner::write_records(report, &outcome.records)
-            .map_err(|error| CommandFailure::invalid_file(report, error))?;
-    }
+    write_report(args.report.as_deref(), &outcome.records)?;
     print_outcome(case, args.fronts, &outcome);
     if !outcome.good() {
         eprintln!("configurations and logs: {}", plan.dir.display());
--- a/crates/cli/src/testbed/judge.rs
+++ b/crates/cli/src/testbed/judge.rs
@@ -1,5 +1,5 @@
 //! `crankpaddle lab judge`: the invariant checker over recorded sessions.
-use super::inputs::{fleet_config, read_scenario};
+use super::files::{fleet_config, read_scenario};
 use crate::failure::{exit_code_of, CommandFailure};
 use crankpaddle_config::Config;
 use crankpaddle_testbed::invariant_checker::{self, Breach, Rules, Verdict};
--- a/crates/cli/src/testbed/mod.rs
+++ b/crates/cli/src/testbed/mod.rs
@@ -1,10 +1,10 @@
 //! `crankpaddle lab`: the testbed's commands, one module each.
 mod benchmarks;
 mod cross_zone_summary;
+mod files;
 mod fleet_case;
 mod fleet_processes;
 mod import;
-mod inputs;
 mod judge;
 mod players;
 mod scenario;
--- a/crates/cli/src/testbed/players.rs
+++ b/crates/cli/src/testbed/players.rs
@@ -1,5 +1,5 @@
 //! `crankpaddle lab players`: the players of a scenario against one running front.
-use super::inputs::{fleet_config, read_scenario};
+use super::files::{fleet_config, read_scenario};
 use super::judge::{breach_line, check_records};
 use crate::failure::{exit_code_of, CommandFailure};
 use crankpaddle_config::Config;
--- a/crates/cli/src/testbed/scenario.rs
+++ b/crates/cli/src/testbed/scenario.rs
@@ -1,6 +1,6 @@
 //! `crankpaddle lab day`: a scripted scenario against front processes.
 use super::cross_zone_summary::print_cross_zone_summary;
-use super::inputs::{read_scenario, temporary_folder};
+use super::files::{read_scenario, temporary_folder, write_report};
 use super::judge::breach_line;
 use crate::failure::CommandFailure;
 use clap::Args;
@@ -63,10 +63,7 @@
         peers: args.peers,
     };
     let outcome = scenario_runner::play(&day, &play)?;
-    if let Some(report) = &args.report {
-        scenario_runner::write_records(report, &outcome.records)
-            .map_err(|error| CommandFailure::invalid_file(report, error))?;
-    }
+    write_report(args.report.as_deref(), &outcome.records)?;
     print_outcome(&outcome, args.most);
     print_cross_zone_summary(&day, &outcome);
     println!("day {}: {}", day.name, outcome.verdict);
--- a/crates/cli/src/testbed/servers.rs
+++ b/crates/cli/src/testbed/servers.rs
@@ -1,5 +1,5 @@
 //! `crankpaddle lab servers`: the simulated servers and the list service of a scenario, without faults.
-use super::inputs::{fleet_config, read_scenario};
+use super::files::{fleet_config, read_scenario};
 use crate::failure::CommandFailure;
 use crankpaddle_testbed::list_service::{entry, EndpointState, ListService};
 use crankpaddle_testbed::record::Recorder;
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -1,88 +1,20 @@
 //! The front node as its platform starts it: configuration, signals, exit status, and the resources of its process.
+mod node_harness;
 mod support;
 
+use node_harness::{
+    config, directory, drain_polls, file, node_command, read_line, send_line, set_up_request,
+    start_node, wait_for_poll, write_config,
+};
 use procfs::net::TcpState;
 use procfs::process::{FDTarget, Process};
 use rustix::process::Signal;
 use serde_json::{json, Value};
-use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::{Duration, Instant};
-use support::{folder, open_sockets, program, text, RunningProgram, TIMEOUT};
-
-fn node_command() -> Command {
-    let mut command = program();
-    command.arg("node").env_remove("NODE_CONFIG");
-    command
-}
-
-fn start_node(config: &Path) -> RunningProgram {
-    let mut command = node_command();
-    command
-        .env("NODE_CONFIG", config)
-        .env("CRANKPADDLE_LOG", "info");
-    RunningProgram::start(&mut command)
-}
-
-fn file(name: &str) -> PathBuf {
-    folder("node").join(name)
-}
-
-fn write_config(path: &Path, config: &Value) {
-    std::fs::write(path, config.to_string()).unwrap();
-}
-
-/// A valid configuration whose directory is this socket.
-fn config(directory: &UdpSocket) -> Value {
-    json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 0.5, "memory_mb": 32, "sockets": 256},
-        "nameserver": directory.local_addr().unwrap().to_string(),
-        "known": {"seq": 0, "results": []},
-        "settings": {"index": 0, "siblings": 1, "azs": ["east"], "kinds": ["std"],
-            "services": [{"name": "preview", "aim": 800_000_000u64, "deadline": 4_000_000_000u64,
-                "semantics": "free", "worth": 1.0}],
-            "family-info": {"cells": 1, "cabinets": 1, "class-top": [1], "lowest-rung": [0], "rate-factor": [1.0],
-                "fleet-kb": 6000.0, "kb-per-weight": 6000.0, "level-kb": [200.0, 400.0], "rung-worth": [0.3, 1.0],
-                "places-by-kind": [20], "uplink-kb": 6000.0},
-            "limits": {"attempts-cap": 4, "retry-after": true, "max-retry-after": 1_000_000_000u64},
-            "rules": {"cold-share": 0.4, "cold": 1_000_000_000u64, "tip-multiple": 2.5, "fall": 1_000_000_000u64}}})
-}
-
-/// A directory that is polled and never answers.
-fn directory() -> UdpSocket {
-    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-    socket.set_read_timeout(Some(TIMEOUT)).unwrap();
-    socket
-}
-
-fn wait_for_poll(directory: &UdpSocket, what: &str) {
-    directory.recv(&mut [0u8; 512]).expect(what);
-}
-
-/// Removes the polls that were received already.
-fn drain_polls(directory: &UdpSocket) {
-    directory.set_nonblocking(true).unwrap();
-    while directory.recv(&mut [0u8; 512]).is_ok() {}
-    directory.set_nonblocking(false).unwrap();
-}
-
-fn send_line(viewer: &mut TcpStream, message: &Value) {
-    viewer.write_all(format!("{message}\n").as_bytes()).unwrap();
-}
-
-fn read_line(viewer: &TcpStream) -> String {
-    let mut line = String::new();
-    BufReader::new(viewer).read_line(&mut line).unwrap();
-    line
-}
-
-/// A set-up request for a title that only servers in the configuration may have.
-fn set_up_request() -> Value {
-    json!({"verb": "START", "tag": "9b1f03aa5c7e2d41", "blob": "x", "opts": {"class": "preview",
-        "left": "1500", "key": "7f3a9c21e0b4d655", "extras": "home:0;copies:1;top:1;viewer:00000000b4d65521"}})
-}
+use support::{open_sockets, text, RunningProgram};
 
 /// Runs a node that must not start: exit status 2, nothing on standard output; returns its one line of explanation.
 fn rejection(command: &mut Command) -> String {
