--- a/crates/cli/src/testbed/fleet_processes.rs
+++ b/crates/cli/src/testbed/fleet_processes.rs
@@ -73,7 +73,7 @@
 fn check_playable(case: &Case, fronts: u32) -> Result<(), CommandFailure> {
     let reason = if fronts > MAX_PROCESSES {
         "up to 100 fronts can be processes here; more in virtual time"
-    } else if case.needs_board() {
+    } else if case.needs_gossip_state() {
         "it writes on the board, which no front does yet; play it with --virtual"
     } else {
         return Ok(());
