Invariant checker: a module for each of the six rules, typed limits and evidence

Each rule is now a module whose conditions and texts are the old ones; the retry budget is a struct in place of a tuple.

--- /dev/null
+++ b/crates/testbed/src/invariant_checker/drain.rs
@@ -0,0 +1,62 @@
+//! Rule 3: a draining or removed server gets no new session after the grace.
+use super::evidence::Evidence;
+use super::verdict::Verdict;
+use crate::record::{Record, Seen};
+use std::collections::HashMap;
+
+const RULE: u8 = 3;
+const MILLISECOND: u64 = 1_000_000;
+
+/// Adds the breaches of this rule to `verdict`.
+pub(super) fn check(evidence: &Evidence<'_>, verdict: &mut Verdict) {
+    // By front and server: when the front was first notified that the server takes no new sessions.
+    let mut unready_since: HashMap<(&str, u32), u64> = HashMap::new();
+    for Record { at, seen } in evidence.records {
+        match seen {
+            Seen::Listed {
+                front,
+                server,
+                ready: true,
+            } => {
+                unready_since.remove(&(front.as_str(), *server));
+            }
+            Seen::Listed {
+                front,
+                server,
+                ready: false,
+            } => {
+                unready_since.entry((front, *server)).or_insert(*at);
+            }
+            Seen::SetUp {
+                front,
+                server,
+                name,
+                ..
+            } => {
+                let Some(since) = unready_since.get(&(front.as_str(), *server)) else {
+                    continue;
+                };
+                if *at > last_allowed(evidence, front, *since) + evidence.rules.blur {
+                    let late = (at - since) / MILLISECOND;
+                    let what = format!(
+                        "session {name} was sent to server {server} {late} ms after its drain"
+                    );
+                    verdict.add_breach(RULE, *at, what);
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// The end of the grace. A front that was stopped during it had the notice unread, so its grace begins anew when it
+/// resumes.
+fn last_allowed(evidence: &Evidence<'_>, front: &str, since: u64) -> u64 {
+    let grace = evidence.rules.drain_grace;
+    let end_of_grace = since + grace;
+    let stalls = evidence.stalls_of_name(front).iter();
+    stalls
+        .filter(|stall| stall.from <= end_of_grace && stall.until >= since)
+        .map(|stall| stall.until.saturating_add(grace))
+        .fold(end_of_grace, u64::max)
+}
--- /dev/null
+++ b/crates/testbed/src/invariant_checker/single_answer.rs
@@ -0,0 +1,115 @@
+//! Rule 1: every request gets exactly one answer before its player gives up.
+use super::evidence::Evidence;
+use super::verdict::Verdict;
+use crate::record::{PlayerReply, Record, Seen};
+use std::collections::BTreeMap;
+
+const RULE: u8 = 1;
+const MILLISECOND: u64 = 1_000_000;
+
+struct CallAnswer {
+    at: u64,
+    reply: PlayerReply,
+}
+
+/// A call as its player saw it.
+struct Call {
+    sent_at: u64,
+    front: u32,
+    deadline: u64,
+    answers: Vec<CallAnswer>,
+    disconnected: bool,
+}
+
+/// Adds the counts of calls and the breaches of this rule to `verdict`.
+pub(super) fn check(evidence: &Evidence<'_>, verdict: &mut Verdict) {
+    let calls = collect_calls(evidence, verdict);
+    verdict.sessions = calls.len();
+    for (id, call) in &calls {
+        if let Some((at, what)) = breach_of(evidence, *id, call) {
+            verdict.add_breach(RULE, at, what);
+        } else {
+            count_outcome(call, verdict);
+        }
+    }
+}
+
+/// The calls by their id. An answer to a call that was not made is added to `verdict` as a breach.
+fn collect_calls(evidence: &Evidence<'_>, verdict: &mut Verdict) -> BTreeMap<u64, Call> {
+    let mut calls: BTreeMap<u64, Call> = BTreeMap::new();
+    for Record { at, seen } in evidence.records {
+        match seen {
+            Seen::OpenSent {
+                call,
+                front,
+                deadline,
+                ..
+            } => {
+                let opened = Call {
+                    sent_at: *at,
+                    front: *front,
+                    deadline: *deadline,
+                    answers: vec![],
+                    disconnected: false,
+                };
+                calls.insert(*call, opened);
+            }
+            Seen::CallAnswered { call, reply } => {
+                let answer = CallAnswer {
+                    at: *at,
+                    reply: *reply,
+                };
+                if let Some(open) = calls.get_mut(call) {
+                    open.answers.push(answer);
+                } else {
+                    let what = format!("an answer to call {call}, which was never made");
+                    verdict.add_breach(RULE, *at, what);
+                }
+            }
+            Seen::Disconnected { call } => {
+                if let Some(open) = calls.get_mut(call) {
+                    open.disconnected = true;
+                }
+            }
+            _ => {}
+        }
+    }
+    calls
+}
+
+/// Time and description of the call's breach, if it has one.
+fn breach_of(evidence: &Evidence<'_>, id: u64, call: &Call) -> Option<(u64, String)> {
+    let blur = evidence.rules.blur;
+    match &call.answers[..] {
+        [] => {
+            // Why: a killed front has no pending answers; a call may be recorded just after the kill that it met.
+            let earliest_death = call.sent_at.saturating_sub(blur);
+            let excused =
+                call.disconnected || evidence.died(call.front, earliest_death, call.deadline);
+            (!excused).then(|| (call.deadline, format!("call {id} was never answered")))
+        }
+        [answer] => {
+            let excused = evidence.was_stalled(call.front, call.sent_at, call.deadline);
+            if answer.at <= call.deadline + blur || excused {
+                return None;
+            }
+            let late = (answer.at - call.deadline) / MILLISECOND;
+            let what = format!("call {id} was answered {late} ms after its viewer gave up");
+            Some((answer.at, what))
+        }
+        [_, second, ..] => {
+            let count = call.answers.len();
+            Some((second.at, format!("call {id} was answered {count} times")))
+        }
+    }
+}
+
+fn count_outcome(call: &Call, verdict: &mut Verdict) {
+    verdict.answered_once += 1;
+    match call.answers.first().map(|answer| answer.reply) {
+        Some(PlayerReply::Plays) => verdict.played += 1,
+        Some(PlayerReply::Refused) => verdict.refused += 1,
+        Some(PlayerReply::Failed) => verdict.failed += 1,
+        Some(PlayerReply::Superseded | PlayerReply::Error) | None => {}
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/invariant_checker/slow_start.rs
@@ -0,0 +1,107 @@
+//! Rule 4: the fronts together don't overload a server in slow start, as far as they knew of its restart.
+use super::evidence::Evidence;
+use super::rules::Rules;
+use super::verdict::Verdict;
+use crate::record::{Record, Reply, Seen};
+use std::collections::{BTreeSet, HashMap};
+
+const RULE: u8 = 4;
+
+/// The latest start of a server's process.
+struct Start {
+    at: u64,
+    places: f64,
+}
+
+struct SentSetUp<'a> {
+    at: u64,
+    front: &'a str,
+}
+
+struct Checker<'a, 'e> {
+    evidence: &'e Evidence<'a>,
+    verdict: &'e mut Verdict,
+    starts: HashMap<u32, Start>,
+    /// Set-ups by server within the overload window.
+    recent_set_ups: HashMap<u32, Vec<SentSetUp<'a>>>,
+    /// Servers and fronts that know its present incarnation, or the end of the previous one.
+    informed: BTreeSet<(u32, &'a str)>,
+}
+
+/// Adds the breaches of this rule to `verdict`.
+pub(super) fn check(evidence: &Evidence<'_>, verdict: &mut Verdict) {
+    let mut checker = Checker {
+        evidence,
+        verdict,
+        starts: HashMap::new(),
+        recent_set_ups: HashMap::new(),
+        informed: BTreeSet::new(),
+    };
+    for Record { at, seen } in evidence.records {
+        checker.observe(*at, seen);
+    }
+}
+
+impl<'a> Checker<'a, '_> {
+    fn observe(&mut self, at: u64, seen: &'a Seen) {
+        match seen {
+            Seen::Started { server, places } => {
+                let places = *places;
+                self.starts.insert(*server, Start { at, places });
+                self.recent_set_ups.remove(server);
+            }
+            Seen::Listed { front, server, .. } => {
+                self.informed.insert((*server, front));
+            }
+            Seen::Replied {
+                name,
+                reply: Reply::Reset,
+            } => {
+                if let Some(session) = self.evidence.session(name) {
+                    self.informed.insert((session.server, session.front));
+                }
+            }
+            Seen::SetUp { server, front, .. } => self.on_set_up(at, *server, front),
+            Seen::Fell { server } => {
+                let what = format!("cold server {server} fell over");
+                self.verdict.add_breach(RULE, at, what);
+            }
+            _ => {}
+        }
+    }
+
+    fn on_set_up(&mut self, at: u64, server: u32, front: &'a str) {
+        let rules = self.evidence.rules;
+        let Some(start) = self.starts.get(&server) else {
+            return;
+        };
+        let age = at - start.at;
+        if age >= rules.slow_start_duration {
+            return;
+        }
+        let sent = self.recent_set_ups.entry(server).or_default();
+        sent.push(SentSetUp { at, front });
+        sent.retain(|set_up| at - set_up.at < rules.fall);
+        let count = sent.len();
+        let allowed = allowed_set_ups(rules, start.places, age);
+        let informed_count = sent
+            .iter()
+            .filter(|set_up| self.informed.contains(&(server, set_up.front)))
+            .count();
+        if count as f64 > allowed && 2 * informed_count > count {
+            sent.clear();
+            let what =
+                format!("cold server {server} was sent {count} set-ups, {allowed:.1} allowed");
+            self.verdict.add_breach(RULE, at, what);
+        }
+    }
+}
+
+/// Set-ups that a server of this age, in nanoseconds, can take within the overload window.
+fn allowed_set_ups(rules: &Rules, places: f64, age: u64) -> f64 {
+    let elapsed_part = age as f64 / rules.slow_start_duration as f64;
+    let warm_up_progress =
+        rules.slow_start_min_factor + (1.0 - rules.slow_start_min_factor) * elapsed_part;
+    let rate = places / rules.slow_start_duration as f64 * warm_up_progress;
+    rules.fall_multiple * rate * rules.fall as f64 + 1.0
+}
--- a/crates/testbed/tests/breaches.rs
+++ b/crates/testbed/tests/breaches.rs
@@ -1,5 +1,5 @@
 //! The judge is judged: for each rule a recorded breach that it must find, and beside it the like that is none.
-use crankpaddle_testbed::invariant_checker::{judge, ClassRule, Rules, Verdict};
+use crankpaddle_testbed::invariant_checker::{judge, ClassRule, RetryBudget, Rules, Verdict};
 use crankpaddle_testbed::record::{PlayerReply, Record, Reply, Seen};
 
 const MS: u64 = 1_000_000;
@@ -19,7 +19,11 @@
         slow_start_min_factor: 0.5,
         fall_multiple: 2.0,
         fall: SECOND,
-        retry: Some((1.0, 0.0, 10 * SECOND)),
+        retry: Some(RetryBudget {
+            floor: 1.0,
+            ratio: 0.0,
+            window: 10 * SECOND,
+        }),
         blur: 50 * MS,
     }
 }
