--- a/crates/testbed/src/fault_mode.rs
+++ b/crates/testbed/src/fault_mode.rs
@@ -1,29 +1,29 @@
-//! How stand-in servers misbehave.
+//! The faults that a scenario switches on at a stand-in server.
 
-/// How what is told goes astray.
+/// Faults of the messages that a server sends on its own.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ResponseFault {
-    /// It comes so much later, each time by a part of this that is drawn: so some overtake others. Nanoseconds.
+    /// Longest extra delay, nanoseconds. Each message draws a part of it, so some overtake others.
     pub late: u64,
-    /// Part of it that never comes.
+    /// Part of the messages that are lost.
     pub lost: f64,
-    /// Part of it that comes twice.
+    /// Part of the messages that arrive twice.
     pub duplicated: f64,
 }
 
-/// How a server misbehaves.
+/// The faults of a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Mode {
-    /// Takes set-ups and answers nothing.
+    /// Accepts set-ups and answers nothing.
     pub hangs: bool,
-    /// Silent both ways.
+    /// Neither receives nor sends.
     pub vanished: bool,
     /// Part of the set-ups that fail at once.
     pub errors: f64,
-    /// Part of the set-ups that are billed and then reset.
+    /// Part of the set-ups that are billed and whose connection is then reset.
     pub bills_and_resets: f64,
-    /// Answers come a byte a second.
+    /// Sends responses one byte a second.
     pub trickles: bool,
-    /// How what it tells unasked goes astray.
+    /// Faults of the messages that it sends on its own.
     pub response_fault: ResponseFault,
 }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -31,6 +31,6 @@
 pub mod scenario_runner;
 pub mod script;
 pub mod server;
-pub mod server_reports;
+mod server_reports;
 mod setup_log;
 pub mod udp_proxy;
--- a/crates/testbed/src/server/streams.rs
+++ b/crates/testbed/src/server/streams.rs
@@ -1,5 +1,6 @@
-//! What a stand-in server sends for as long as it is listened to: media, and its word to a front.
-use super::{lock, Fleet, Server, Session, MILLISECOND, PIECES, SOON};
+//! Responses that a stand-in server sends for as long as they are read: media segments and event streams.
+use super::session::Session;
+use super::{lock, Fleet, Server, MILLISECOND};
 use crankpaddle_http::problem::Problem;
 use crankpaddle_net::{clock, sleep, Socket, WriteBuffer};
 use crankpaddle_server_protocol::event_stream::{self, StreamStart};
@@ -7,90 +8,110 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+const SECOND: u64 = 1000 * MILLISECOND;
+/// Media is sent in this many pieces a second.
+const PIECES_PER_SECOND: u64 = 10;
+/// A segment requested this soon after the previous one was due continues its schedule, nanoseconds.
+const SCHEDULE_GAP: u64 = 100 * MILLISECOND;
+/// Filler of media, the sync byte of a transport stream.
+const MEDIA_BYTE: u8 = 0x47;
+/// Bytes that an event stream may have unsent.
+const EVENT_BUFFER: usize = 1 << 20;
+const EVENT_STREAM_HEAD: &[u8] =
+    b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n";
+
 impl Server {
-    /// Sends a segment at the rate that is due; false where the connection is over.
+    /// Answers a request for media; false where the connection is over.
     pub(super) fn media(&self, fleet: &Fleet, socket: &Socket, name: &str) -> bool {
-        let playing = |s: &Session| s.plays.then(|| fleet.rate(s.class, s.rung));
-        let Some(kb) = lock(&self.sessions).get(name).and_then(playing) else {
-            let gone = Problem::of(404, "no such session").response(&[]);
-            return socket.write_all(&gone).is_ok();
+        let rate = |session: &Session| {
+            session
+                .plays
+                .then(|| fleet.rate(session.class, session.rung))
+        };
+        let Some(kb) = lock(&self.sessions).get(name).and_then(rate) else {
+            let not_found = Problem::of(404, "no such session").response(&[]);
+            return socket.write_all(&not_found).is_ok();
         };
-        let size = ((kb * 1000.0 * self.seconds(fleet)) as usize).max(1);
-        let fields =
+        let seconds = fleet.segment as f64 / SECOND as f64;
+        let size = ((kb * 1000.0 * seconds) as usize).max(1);
+        let head =
             format!("HTTP/1.1 200 OK\r\ncontent-type: video/mp4\r\ncontent-length: {size}\r\n\r\n");
-        if socket.write_all(fields.as_bytes()).is_err() {
-            return false;
-        }
-        let count = (fleet.segment * PIECES / 1_000_000_000).max(1) as usize;
-        let piece = vec![0x47u8; size.div_ceil(count)];
+        socket.write_all(head.as_bytes()).is_ok() && self.send_segment(fleet, socket, name, size)
+    }
+
+    /// Sends a segment at the rate that the links allow; false where session or connection is over.
+    fn send_segment(&self, fleet: &Fleet, socket: &Socket, name: &str, size: usize) -> bool {
+        let count = (fleet.segment * PIECES_PER_SECOND / SECOND).max(1) as usize;
+        let piece = vec![MEDIA_BYTE; size.div_ceil(count)];
         let mut left = size;
-        let before = lock(&self.sessions).get(name).map_or(0, |s| s.due);
-        let now = clock::now();
-        let mut due = if now.saturating_sub(before) < SOON {
-            before
-        } else {
-            now
-        };
+        let mut due = self.segment_start(name);
         while left > 0 {
-            // The whole takes longer by as much as the share is short.
+            // The segment takes longer by as much as the share is short.
             let share = lock(&fleet.model).share(self.id as usize);
             due += (fleet.segment as f64 / count as f64 / share) as u64;
             sleep(Duration::from_nanos(due.saturating_sub(clock::now())));
-            let n = piece.len().min(left);
+            let length = piece.len().min(left);
             let silent = self.mode().vanished || self.mode().hangs;
-            let active = lock(&self.sessions)
-                .get_mut(name)
-                .map(|s| s.bytes += if silent { 0 } else { n as u64 });
-            if active.is_none() {
+            if !self.count_sent(name, if silent { 0 } else { length as u64 }) {
                 return false;
             }
             if silent {
                 continue;
             }
-            if socket.write_all(&piece[..n]).is_err() {
+            if socket.write_all(&piece[..length]).is_err() {
                 return false;
             }
-            left -= n;
+            left -= length;
         }
         true
     }
 
-    pub(super) fn seconds(&self, fleet: &Fleet) -> f64 {
-        fleet.segment as f64 / 1e9
+    /// When the pieces of the next segment are counted from.
+    fn segment_start(&self, name: &str) -> u64 {
+        let previous_due = lock(&self.sessions).get(name).map_or(0, |s| s.media_due);
+        let now = clock::now();
+        if now.saturating_sub(previous_due) < SCHEDULE_GAP {
+            previous_due
+        } else {
+            now
+        }
+    }
+
+    /// Adds to the bytes sent of a session; false where it is over.
+    fn count_sent(&self, name: &str, bytes: u64) -> bool {
+        let mut sessions = lock(&self.sessions);
+        let Some(session) = sessions.get_mut(name) else {
+            return false;
+        };
+        session.bytes += bytes;
+        true
     }
 
+    /// Serves the event stream of a front until the front closes it.
     pub(super) fn events(&self, socket: &Arc<Socket>, query: &str) {
         let front = query.strip_prefix("front=").unwrap_or("").to_owned();
-        let outbox = Arc::new(WriteBuffer::new(socket.clone(), 1 << 20));
-        let fields = [
-            ("content-type", "text/event-stream"),
-            ("connection", "close"),
-        ];
-        let mut first = b"HTTP/1.1 200 OK\r\n".to_vec();
-        fields
-            .iter()
-            .for_each(|(n, v)| first.extend(format!("{n}: {v}\r\n").bytes()));
-        first.extend(b"\r\n");
+        let outbox = Arc::new(WriteBuffer::new(socket.clone(), EVENT_BUFFER));
+        // Why: the lock keeps a session's end from being missed between the first message and the registration.
         let sessions = lock(&self.sessions);
         let active = sessions
             .iter()
-            .filter(|(_, s)| s.front == front && s.plays)
-            .map(|(n, _)| n.clone());
-        let age = clock::now().saturating_sub(self.started.load(Ordering::Acquire)) / MILLISECOND;
-        let boot = self.boot.load(Ordering::Acquire).to_string();
+            .filter(|(_, session)| session.front == front && session.plays)
+            .map(|(name, _)| name.clone());
+        let age_ms = self.age() / MILLISECOND;
         let hello = StreamStart {
-            boot,
+            boot: self.incarnation.load(Ordering::Acquire).to_string(),
             sessions: active.collect(),
-            age_ms: Some(age),
+            age_ms: Some(age_ms),
         };
+        let mut first = EVENT_STREAM_HEAD.to_vec();
         first.extend(event_stream::write("hello", &hello));
         outbox.push(&first);
-        lock(&self.notes).insert(front.clone(), outbox.clone());
+        lock(&self.event_streams).insert(front.clone(), outbox.clone());
         drop(sessions);
-        outbox.until_closed(); // Nothing more comes from the front but its end.
-        let mut all = lock(&self.notes);
-        if all.get(&front).is_some_and(|o| Arc::ptr_eq(o, &outbox)) {
-            all.remove(&front);
+        outbox.until_closed(); // The front sends nothing more on this connection.
+        let mut streams = lock(&self.event_streams);
+        if streams.get(&front).is_some_and(|o| Arc::ptr_eq(o, &outbox)) {
+            streams.remove(&front);
         }
     }
 }
--- a/crates/testbed/src/server_reports.rs
+++ b/crates/testbed/src/server_reports.rs
@@ -1,10 +1,11 @@
-//! What a stand-in server tells fronts unasked: short delivery, links, counts of bytes and of what crosses; each as late
-//! as the configuration says, and later, lost or doubled where a day's script says so.
+//! What a stand-in server sends to fronts on its own: short delivery, load of its links, counts of bytes and of traffic
+//! between zones. Each message is late as configured, and further delayed, lost or duplicated where a scenario's fault
+//! asks for it.
 use crate::fault_mode::ResponseFault;
 use crate::server::{lock, Fleet, Server};
 use crankpaddle_front::jitter;
 use crankpaddle_http::sse;
-use crankpaddle_net::{clock, sleep, spawn, Stack};
+use crankpaddle_net::{clock, sleep, spawn, Stack, WriteBuffer};
 use crankpaddle_server_protocol::event_stream::{
     self, CrossZoneRate, SessionUpdateMessage, TrafficCounts,
 };
@@ -14,56 +15,84 @@
 use std::time::Duration;
 
 const MILLISECOND: u64 = 1_000_000;
+/// Interval at which a server checks what it has to send.
 const TICK: Duration = Duration::from_millis(250);
+/// Least time between two reports of short delivery, nanoseconds.
+const SHORT_DELIVERY_INTERVAL: u64 = 1000 * MILLISECOND;
+/// Delivery is short where sessions get less than this part of their rates.
+const SHORT_DELIVERY_SHARE: f64 = 0.98;
 
-/// Words on their way: when each is due, for which front, and its bytes.
+struct DelayedMessage {
+    due: u64,
+    front: String,
+    bytes: Vec<u8>,
+}
+
+/// Messages that were sent but have not arrived yet.
 #[derive(Default)]
-struct OnTheWay {
-    words: Vec<(u64, String, Vec<u8>)>,
-    drawn: u64,
+struct DelayQueue {
+    messages: Vec<DelayedMessage>,
+    draw_count: u64,
 }
 
-impl OnTheWay {
-    fn dice(&mut self) -> f64 {
-        self.drawn += 1;
-        jitter(self.drawn)
+impl DelayQueue {
+    fn draw(&mut self) -> f64 {
+        self.draw_count += 1;
+        jitter(self.draw_count)
     }
 
-    fn send(&mut self, due: u64, astray: ResponseFault, front: &str, bytes: &[u8]) {
-        let copies = if self.dice() < astray.lost {
+    fn send(&mut self, due: u64, fault: ResponseFault, front: &str, bytes: &[u8]) {
+        let copies = if self.draw() < fault.lost {
             0
         } else {
-            1 + usize::from(self.dice() < astray.duplicated)
+            1 + usize::from(self.draw() < fault.duplicated)
         };
         for _ in 0..copies {
-            let later = (astray.late as f64 * (0.5 + 0.5 * self.dice())) as u64;
-            self.words
-                .push((due + later, front.to_owned(), bytes.to_vec()));
+            let delay = (fault.late as f64 * (0.5 + 0.5 * self.draw())) as u64;
+            self.messages.push(DelayedMessage {
+                due: due + delay,
+                front: front.to_owned(),
+                bytes: bytes.to_vec(),
+            });
         }
     }
 
-    /// What is due, in the order of its times.
-    fn due(&mut self, now: u64) -> Vec<(String, Vec<u8>)> {
-        self.words.sort_by_key(|(at, ..)| *at);
-        let still = self.words.partition_point(|(at, ..)| *at <= now);
-        self.words
-            .drain(..still)
-            .map(|(_, front, bytes)| (front, bytes))
-            .collect()
+    /// Takes out what is due, in the order of its times.
+    fn take_due(&mut self, now: u64) -> Vec<DelayedMessage> {
+        self.messages.sort_by_key(|message| message.due);
+        let due_count = self.messages.partition_point(|message| message.due <= now);
+        self.messages.drain(..due_count).collect()
     }
 }
 
+/// Load of a server's links: demand over bandwidth, and the part of their rates that sessions get.
+struct LinkLoad {
+    link: f64,
+    uplink: f64,
+    share: f64,
+}
+
+/// Sends the reports of one server.
+struct Reporter {
+    server: Arc<Server>,
+    fleet: Arc<Fleet>,
+    queue: DelayQueue,
+    /// When short delivery was last reported.
+    short_delivery_at: u64,
+    /// When link load and traffic were last reported.
+    load_at: u64,
+}
+
 impl Server {
-    /// What it sends across to each zone and class, bytes a second at the rungs in force.
-    fn crossing(&self, fleet: &Fleet) -> Vec<CrossZoneRate> {
-        let own = &fleet.config.zones[fleet.zone(self.id)];
+    /// Rates at which it sends to other zones, by zone and class, bytes a second.
+    fn cross_zone_rates(&self, fleet: &Fleet) -> Vec<CrossZoneRate> {
+        let own_zone = &fleet.config.zones[fleet.zone(self.id)];
         let mut rates: BTreeMap<(String, usize), f64> = BTreeMap::new();
         for session in lock(&self.sessions).values() {
-            if session.plays && !session.zone.is_empty() && session.zone != *own {
+            if session.plays && !session.zone.is_empty() && session.zone != *own_zone {
                 let kb = fleet.rate(session.class, session.rung);
-                *rates
-                    .entry((session.zone.clone(), session.class))
-                    .or_default() += kb * 1000.0;
+                let key = (session.zone.clone(), session.class);
+                *rates.entry(key).or_default() += kb * 1000.0;
             }
         }
         let named = |((to, class), rate): ((String, usize), f64)| {
@@ -73,84 +102,126 @@
         rates.into_iter().map(named).collect()
     }
 
-    fn sent(&self, front: &str) -> Vec<(String, u64)> {
+    /// Media bytes sent, by name of the front's sessions.
+    fn sent_bytes(&self, front: &str) -> Vec<(String, u64)> {
         let sessions = lock(&self.sessions);
         let of_front = sessions.iter().filter(|(_, s)| s.front == front && s.plays);
         of_front.map(|(name, s)| (name.clone(), s.bytes)).collect()
     }
 
-    /// Tells until the process ends.
+    /// Starts to send reports, until the process of the test bed ends.
     pub(crate) fn notify_fronts(self: &Arc<Server>, fleet: &Arc<Fleet>) {
-        let (server, fleet) = (self.clone(), fleet.clone());
-        spawn(Stack::Usual, move || {
-            let s = &fleet.config.settings;
-            let mut words = OnTheWay {
-                drawn: u64::from(server.id) << 32,
-                ..OnTheWay::default()
+        let mut reporter = Reporter {
+            server: self.clone(),
+            fleet: fleet.clone(),
+            queue: DelayQueue {
+                draw_count: u64::from(self.id) << 32, // Why: each server draws a sequence of its own.
+                ..DelayQueue::default()
+            },
+            short_delivery_at: 0,
+            load_at: 0,
+        };
+        spawn(Stack::Usual, move || loop {
+            sleep(TICK);
+            reporter.tick();
+        });
+    }
+}
+
+impl Reporter {
+    fn tick(&mut self) {
+        if !self.server.up.load(Ordering::Acquire) || self.server.mode().vanished {
+            self.queue.messages.clear();
+            return;
+        }
+        let now = clock::now();
+        let fault = self.server.mode().response_fault;
+        let settings = &self.fleet.config.settings;
+        let due = now + settings.update_delay;
+        let load = self.link_load();
+        let short_delivery_due = now >= self.short_delivery_at + SHORT_DELIVERY_INTERVAL;
+        let reports_short_delivery = short_delivery_due && load.share < SHORT_DELIVERY_SHARE;
+        let reports_load = now >= self.load_at + settings.update_interval;
+        for (front, session) in self.session_of_each_front() {
+            if !reports_short_delivery && !reports_load {
+                continue;
+            }
+            let update = SessionUpdateMessage {
+                session,
+                delivered: reports_short_delivery.then_some(load.share),
+                link: reports_load.then_some(load.link),
+                uplink: reports_load.then_some(load.uplink),
+                rung: None,
             };
-            let (mut delivered_at, mut link_at) = (0u64, 0u64);
-            loop {
-                sleep(TICK);
-                if !server.up.load(Ordering::Acquire) || server.mode().vanished {
-                    words.words.clear();
-                    continue;
-                }
-                let (now, astray) = (clock::now(), server.mode().response_fault);
-                let due = now + s.update_delay;
-                let (link, uplink, share) = {
-                    let model = lock(&fleet.model);
-                    let n = server.id as usize;
-                    (model.link_demand(n), model.uplink_demand(n), model.share(n))
-                };
-                let mut of_front: BTreeMap<String, String> = BTreeMap::new();
-                for (name, session) in lock(&server.sessions).iter().filter(|(_, s)| s.plays) {
-                    of_front
-                        .entry(session.front.clone())
-                        .or_insert_with(|| name.clone());
-                }
-                let short = now >= delivered_at + 1000 * MILLISECOND && share < 0.98;
-                let notify_fronts = now >= link_at + s.update_interval;
-                for (front, session) in of_front {
-                    let update = SessionUpdateMessage {
-                        session,
-                        delivered: short.then_some(share),
-                        link: notify_fronts.then_some(link),
-                        uplink: notify_fronts.then_some(uplink),
-                        rung: None,
-                    };
-                    if short || notify_fronts {
-                        words.send(due, astray, &front, &event_stream::write("note", &update));
-                    }
-                }
-                let streams: Vec<_> = lock(&server.notes)
-                    .iter()
-                    .map(|(f, o)| (f.clone(), o.clone()))
-                    .collect();
-                if notify_fronts {
-                    let crossing = server.crossing(&fleet);
-                    for (front, _) in &streams {
-                        let traffic = TrafficCounts {
-                            sent: server.sent(front),
-                            crossing: crossing.clone(),
-                        };
-                        words.send(
-                            due,
-                            astray,
-                            front,
-                            &event_stream::write("traffic", &traffic),
-                        );
-                    }
-                }
-                delivered_at = if short { now } else { delivered_at };
-                link_at = if notify_fronts { now } else { link_at };
-                let due = words.due(now);
-                for (front, outbox) in streams {
-                    outbox.push(sse::HEARTBEAT);
-                    for (_, bytes) in due.iter().filter(|(to, _)| *to == front) {
-                        outbox.push(bytes);
-                    }
-                }
+            let message = event_stream::write("note", &update);
+            self.queue.send(due, fault, &front, &message);
+        }
+        let streams = self.event_streams();
+        if reports_short_delivery {
+            self.short_delivery_at = now;
+        }
+        if reports_load {
+            self.send_traffic(due, fault, &streams);
+            self.load_at = now;
+        }
+        self.deliver(now, &streams);
+    }
+
+    fn link_load(&self) -> LinkLoad {
+        let model = lock(&self.fleet.model);
+        let server = self.server.id as usize;
+        LinkLoad {
+            link: model.link_demand(server),
+            uplink: model.uplink_demand(server),
+            share: model.share(server),
+        }
+    }
+
+    /// For each front the first of its active sessions: an update names one.
+    fn session_of_each_front(&self) -> BTreeMap<String, String> {
+        let mut first_sessions: BTreeMap<String, String> = BTreeMap::new();
+        for (name, session) in lock(&self.server.sessions).iter() {
+            if session.plays {
+                first_sessions
+                    .entry(session.front.clone())
+                    .or_insert_with(|| name.clone());
             }
-        });
+        }
+        first_sessions
+    }
+
+    fn event_streams(&self) -> Vec<(String, Arc<WriteBuffer>)> {
+        let streams = lock(&self.server.event_streams);
+        streams
+            .iter()
+            .map(|(front, stream)| (front.clone(), stream.clone()))
+            .collect()
+    }
+
+    fn send_traffic(
+        &mut self,
+        due: u64,
+        fault: ResponseFault,
+        streams: &[(String, Arc<WriteBuffer>)],
+    ) {
+        let crossing = self.server.cross_zone_rates(&self.fleet);
+        for (front, _) in streams {
+            let traffic = TrafficCounts {
+                sent: self.server.sent_bytes(front),
+                crossing: crossing.clone(),
+            };
+            let message = event_stream::write("traffic", &traffic);
+            self.queue.send(due, fault, front, &message);
+        }
+    }
+
+    fn deliver(&mut self, now: u64, streams: &[(String, Arc<WriteBuffer>)]) {
+        let due = self.queue.take_due(now);
+        for (front, stream) in streams {
+            stream.push(sse::HEARTBEAT);
+            for message in due.iter().filter(|message| message.front == *front) {
+                stream.push(&message.bytes);
+            }
+        }
     }
 }
