Scenario runner and crossing: modules by job, typed timeline, flows and rung periods

One file of 530 lines held arrivals, faults, the run, reports and recordings; tuples of three stood for transitions, rung periods and flows. The wait for players and streams, which stood twice, is shared (wind_down). Draws keep their order.

Exported: FlowKey in place of a tuple of names.

--- a/crates/cli/src/lab/mod.rs
+++ b/crates/cli/src/lab/mod.rs
@@ -376,7 +376,8 @@
         "played {}, refused {}, failed {}; media bytes sent {} read {}; simulated servers, loopback",
         verdict.played, verdict.refused, verdict.failed, outcome.bytes.0, outcome.bytes.1
     );
-    for ((from, to, class), (sent, told)) in &outcome.flows() {
+    for (flow, (sent, told)) in &outcome.flows() {
+        let (from, to, class) = (&flow.from, &flow.to, &flow.class);
         let off = (*told as f64 / (*sent).max(1) as f64 - 1.0) * 100.0;
         eprintln!("traffic {from} > {to}, {class}: servers sent {sent}, fronts report {told} ({off:+.2}%)");
     }
--- a/crates/daemon/tests/traffic.rs
+++ b/crates/daemon/tests/traffic.rs
@@ -138,7 +138,8 @@
     let logged = crossed(&rig.recorder.all(), &rig.config);
     let told = report(rig.daemon.address());
     assert!(logged.bytes.values().sum::<u64>() > 0);
-    for ((from, to, class), bytes) in &logged.bytes {
+    for (flow, bytes) in &logged.bytes {
+        let (from, to, class) = (&flow.from, &flow.to, &flow.class);
         let of = |f: &&crankpaddle_cross_zone_traffic::report::FlowReport| {
             (&f.from, &f.to, &f.class) == (from, to, class)
         };
--- a/crates/testbed/src/crossing.rs
+++ b/crates/testbed/src/crossing.rs
@@ -1,22 +1,46 @@
-//! What crossed between halls and what it was worth, by the servers' own records.
+//! Traffic between zones and the utility of a day, by the servers' own records.
 use crate::record::{Record, Reply, Seen};
 use crankpaddle_config::Config;
 use std::collections::{BTreeMap, HashMap};
 
 const SECOND: u64 = 1_000_000_000;
-/// Below this part of the rate a session earns less.
-const WHOLE: f64 = 0.98;
+/// A session that got at least this part of its rate earns its full utility.
+const FULL_DELIVERY: f64 = 0.98;
 
-/// A day's crossing and worth. Zones and classes by name.
+/// A direction of traffic and the class of its sessions, by name.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct FlowKey {
+    /// Zone of the server.
+    pub from: String,
+    /// Zone of the viewer.
+    pub to: String,
+    /// Class of the session.
+    pub class: String,
+}
+
+/// A day's traffic between zones and its utility.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Crossed {
-    /// For each second of the day, what crossed at the rungs in force, kB a second: paid service, the rest.
+    /// For each second of the day the traffic between zones at the rungs in force, kB a second: paid service, the rest.
     pub seconds: BTreeMap<u64, (f64, f64)>,
-    /// What was watched by class, in seconds at a rung of worth 1 times the class's worth; less where less was sent than
-    /// the rung promises.
+    /// Utility by class: seconds watched, times the rung's utility, times the class's priority weight; less where fewer
+    /// bytes were sent than the rung needs.
     pub utility: BTreeMap<String, f64>,
-    /// Media bytes by zone of the server, zone of the viewer and class.
-    pub bytes: BTreeMap<(String, String, String), u64>,
+    /// Media bytes of each flow, also within a zone.
+    pub bytes: BTreeMap<FlowKey, u64>,
+}
+
+/// A time at one rung, nanoseconds.
+struct RungPeriod {
+    from: u64,
+    to: u64,
+    rung: u8,
+}
+
+impl RungPeriod {
+    fn seconds(&self) -> f64 {
+        (self.to - self.from) as f64 / SECOND as f64
+    }
 }
 
 struct Session<'a> {
@@ -24,57 +48,56 @@
     zone: &'a str,
     class: usize,
     rung: u8,
-    plays: Option<u64>, // Since when at this rung.
-    rungs: Vec<(u64, u64, u8)>,
+    /// Since when it plays at this rung; `None` before it plays.
+    playing_since: Option<u64>,
+    periods: Vec<RungPeriod>,
+}
+
+impl Session<'_> {
+    fn change_rung(&mut self, at: u64, rung: u8) {
+        if let Some(from) = self.playing_since.replace(at).filter(|from| *from < at) {
+            self.end_period(from, at);
+        }
+        self.rung = rung;
+    }
+
+    fn end_period(&mut self, from: u64, to: u64) {
+        let rung = self.rung;
+        self.periods.push(RungPeriod { from, to, rung });
+    }
 }
 
-/// Reads it from records in the order of their times.
+/// Computes the traffic from records in the order of their times.
+#[must_use]
 pub fn crossed(records: &[Record], config: &Config) -> Crossed {
     let mut all = Crossed::default();
     let mut sessions: HashMap<&str, Session<'_>> = HashMap::new();
     for Record { at, seen } in records {
         match seen {
-            Seen::SetUp {
-                name,
-                server,
-                class,
-                zone,
-                rung,
-                ..
-            } => {
-                let Some(class) = config.classes.iter().position(|c| c == class) else {
-                    continue;
-                };
-                let (server, rung) = (*server, *rung);
-                sessions.insert(
-                    name,
-                    Session {
-                        server,
-                        zone,
-                        class,
-                        rung,
-                        plays: None,
-                        rungs: Vec::new(),
-                    },
-                );
+            Seen::SetUp { name, .. } => {
+                if let Some(session) = new_session(seen, config) {
+                    sessions.insert(name, session);
+                }
             }
             Seen::Replied {
                 name,
                 reply: Reply::Plays,
             } => {
-                sessions.entry(name).and_modify(|s| s.plays = Some(*at));
+                if let Some(session) = sessions.get_mut(name.as_str()) {
+                    session.playing_since = Some(*at);
+                }
             }
             Seen::Rung { name, rung } => {
-                if let Some(s) = sessions.get_mut(name.as_str()) {
-                    let since = s.plays.replace(*at).filter(|since| since < at);
-                    s.rungs.extend(since.map(|since| (since, *at, s.rung)));
-                    s.rung = *rung;
+                if let Some(session) = sessions.get_mut(name.as_str()) {
+                    session.change_rung(*at, *rung);
                 }
             }
             Seen::Ended { name, bytes } => {
-                if let Some(mut s) = sessions.remove(name.as_str()) {
-                    s.rungs.extend(s.plays.map(|since| (since, *at, s.rung)));
-                    all.add(&s, *bytes, config);
+                if let Some(mut session) = sessions.remove(name.as_str()) {
+                    if let Some(from) = session.playing_since {
+                        session.end_period(from, *at);
+                    }
+                    all.add(&session, *bytes, config);
                 }
             }
             _ => {}
@@ -83,57 +106,80 @@
     all
 }
 
+/// The session of a set-up, where its class is known.
+fn new_session<'a>(seen: &'a Seen, config: &Config) -> Option<Session<'a>> {
+    let Seen::SetUp {
+        server,
+        class,
+        zone,
+        rung,
+        ..
+    } = seen
+    else {
+        return None;
+    };
+    let class = config.classes.iter().position(|name| name == class)?;
+    Some(Session {
+        server: *server,
+        zone,
+        class,
+        rung: *rung,
+        playing_since: None,
+        periods: Vec::new(),
+    })
+}
+
 impl Crossed {
-    fn add(&mut self, s: &Session<'_>, bytes: u64, config: &Config) {
-        let (settings, class) = (&config.settings, &config.settings.classes[s.class]);
-        let kb = |rung: u8| {
-            settings
-                .rung_kb
-                .get(usize::from(rung))
-                .copied()
-                .unwrap_or(0.0)
-                * class.rate_factor
+    fn add(&mut self, session: &Session<'_>, bytes: u64, config: &Config) {
+        let settings = &config.settings;
+        let class = &settings.classes[session.class];
+        let class_name = &config.classes[session.class];
+        let of_rung = |values: &[f64], rung: u8| {
+            let value = values.get(usize::from(rung));
+            value.copied().unwrap_or(0.0)
+        };
+        let kb = |rung: u8| of_rung(&settings.rung_kb, rung) * class.rate_factor;
+        let from = &config.zones[session.server as usize % config.zones.len()];
+        let flow = FlowKey {
+            from: from.clone(),
+            to: session.zone.to_owned(),
+            class: class_name.clone(),
         };
-        let from = &config.zones[s.server as usize % config.zones.len()];
-        let key = (
-            from.clone(),
-            s.zone.to_owned(),
-            config.classes[s.class].clone(),
-        );
-        *self.bytes.entry(key).or_default() += bytes;
-        let length = |(from, to, _): &(u64, u64, u8)| (to - from) as f64 / SECOND as f64;
-        let wanted: f64 = s.rungs.iter().map(|r| length(r) * kb(r.2) * 1000.0).sum();
-        let earned: f64 = s
-            .rungs
-            .iter()
-            .map(|r| {
-                length(r)
-                    * settings
-                        .rung_utility
-                        .get(usize::from(r.2))
-                        .copied()
-                        .unwrap_or(0.0)
-            })
+        *self.bytes.entry(flow).or_default() += bytes;
+        let periods = session.periods.iter();
+        let needed_bytes: f64 = periods
+            .clone()
+            .map(|period| period.seconds() * kb(period.rung) * 1000.0)
             .sum();
-        let delivered = (bytes as f64 / (wanted * WHOLE).max(1.0)).min(1.0);
-        *self
-            .utility
-            .entry(config.classes[s.class].clone())
-            .or_default() += earned * class.priority_weight * delivered;
-        if from != s.zone && !s.zone.is_empty() {
-            let paid = class.idempotency == crankpaddle::Idempotency::AtMostOnce;
-            for (from, to, rung) in &s.rungs {
-                for second in from / SECOND..=to / SECOND {
-                    let part = (second * SECOND + SECOND).min(*to) - (second * SECOND).max(*from);
-                    let sum = self.seconds.entry(second).or_default();
-                    let sum = if paid { &mut sum.0 } else { &mut sum.1 };
-                    *sum += kb(*rung) * part as f64 / SECOND as f64;
-                }
-            }
+        let earned: f64 = periods
+            .map(|period| period.seconds() * of_rung(&settings.rung_utility, period.rung))
+            .sum();
+        let delivered = (bytes as f64 / (needed_bytes * FULL_DELIVERY).max(1.0)).min(1.0);
+        *self.utility.entry(class_name.clone()).or_default() +=
+            earned * class.priority_weight * delivered;
+        if from == session.zone || session.zone.is_empty() {
+            return;
+        }
+        let paid = class.idempotency == crankpaddle::Idempotency::AtMostOnce;
+        for period in &session.periods {
+            self.add_period(period, kb(period.rung), paid);
+        }
+    }
+
+    /// Adds the traffic of a period between zones to each of its seconds.
+    fn add_period(&mut self, period: &RungPeriod, kb: f64, paid: bool) {
+        for second in period.from / SECOND..=period.to / SECOND {
+            let start = second * SECOND;
+            let part = (start + SECOND).min(period.to) - start.max(period.from);
+            let (paid_kb, other_kb) = self.seconds.entry(second).or_default();
+            let sum = if paid { paid_kb } else { other_kb };
+            *sum += kb * part as f64 / SECOND as f64;
         }
     }
 
-    /// The largest rate that crossed over a few seconds between two times: all, and what was not paid for.
+    /// The highest mean rate between zones over `over` seconds within two times, kB a second: of all traffic, and of what
+    /// is not paid for.
+    #[must_use]
     pub fn peak(&self, from: u64, to: u64, over: u64) -> (f64, f64) {
         let at = |second: u64| self.seconds.get(&second).copied().unwrap_or_default();
         let mean = |second: u64, of: &dyn Fn((f64, f64)) -> f64| {
@@ -148,7 +194,9 @@
         })
     }
 
-    /// Seconds after a time until no more than `kb` crosses over each few seconds that follow, up to `to`.
+    /// Seconds after `after` until the mean rate over each `over` seconds that follow, up to `to`, is at most `kb`; `None`
+    /// if it never is.
+    #[must_use]
     pub fn below(&self, kb: f64, after: u64, to: u64, over: u64) -> Option<u64> {
         let last = (to / SECOND).saturating_sub(over);
         let first = after / SECOND;
--- a/crates/testbed/src/crossing/tests.rs
+++ b/crates/testbed/src/crossing/tests.rs
@@ -57,7 +57,7 @@
     );
     let whole = 2.0 * (10.0 * 0.25 + 10.0 * 0.83);
     assert!(
-        close(all.utility["licensed-view"], whole * 0.5 / WHOLE),
+        close(all.utility["licensed-view"], whole * 0.5 / FULL_DELIVERY),
         "{:?}",
         all.utility
     );
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -34,3 +34,4 @@
 mod server_reports;
 mod setup_log;
 pub mod udp_proxy;
+mod wind_down;
--- a/crates/testbed/src/scenario_runner/mod.rs
+++ b/crates/testbed/src/scenario_runner/mod.rs
@@ -1,289 +1,118 @@
-//! Plays a scripted day: fronts as processes of their own, all else as stand-ins in this one.
-use crate::crossing::{crossed, Crossed};
-use crate::fault_mode::ResponseFault;
+//! Plays a scripted day: fronts as processes of their own, everything else as stand-ins in this process.
+//!
+//! - `stage`: the fronts and stand-ins, and the faults at them;
+//! - `arrivals`: the players that come;
+//! - `timeline`: the run itself;
+//! - `recording`: records on disk.
+mod arrivals;
+mod recording;
+mod stage;
+mod timeline;
+
+use crate::crossing::{crossed, Crossed, FlowKey};
 use crate::invariant_checker::{judge, Rules, Verdict};
 use crate::list_service::{entry, ListService};
 use crate::membership_poll::Views;
-use crate::player::{Habits, PlayerPool, Visit};
-use crate::process::{end_all, with_workers, Process};
+use crate::player::Habits;
+use crate::process::end_all;
 use crate::record::{Record, Recorder, Seen};
-use crate::script::{fleet_config, front_block, Day, Fault, Kind};
+use crate::script::{fleet_config, Day};
 use crate::server::{Fleet, Layout};
 use crate::udp_proxy::{write_key, Mesh};
+pub use arrivals::arrivals;
 use crankpaddle_config::Config;
 use crankpaddle_cross_zone_traffic::report::{merge, TrafficReport};
-use crankpaddle_net::{clock, spawn, Stack};
+use crankpaddle_net::clock;
 use crankpaddle_server_protocol::list::EndpointState;
 use crankpaddle_traffic_report::fetch;
-use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
-use rustix::process::Signal;
+pub use recording::{read_records, write_records};
+use stage::{Front, Stage};
 use std::collections::BTreeMap;
-use std::fs::File;
-use std::io::{self, BufRead, BufReader, Write};
+use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
 const MILLISECOND: u64 = 1_000_000;
 const SECOND: u64 = 1000 * MILLISECOND;
-/// After the day's end sessions go on for so long at most.
-const WATCH_ON: u64 = 10 * SECOND;
-/// After the last arrival the players have so long.
-const AFTER: u64 = 40 * SECOND;
-/// What scheduling on a busy machine may blur: stand-ins and players share its cores with the fronts.
+/// Tolerance of the rules for scheduling, nanoseconds: stand-ins and players share the cores with the fronts.
 pub const BLUR: u64 = 150 * MILLISECOND;
-/// Seconds that a front may take to settle its account of traffic.
-const SETTLED_WITHIN: u32 = 15;
-/// The stand-in operators' grace for drains.
+/// Grace of the rules for draining servers, nanoseconds.
 pub const DRAIN_GRACE: u64 = SECOND;
+/// Seconds that a front may take to settle its traffic report.
+const SETTLED_WITHIN_SECONDS: u32 = 15;
+/// Time for one request of a traffic report.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time beyond its configured drain in which a front's process must end.
+const PROCESS_END_GRACE: Duration = Duration::from_secs(5);
+/// Time between two probes of fronts that know each other, as configured.
+const PROBE_INTERVAL: &str = "1s";
+/// Bytes by which the counts of servers and players may always differ.
+const BYTE_TOLERANCE: u64 = 1_000_000;
 
 /// How a day is played.
 #[derive(Clone, Debug)]
 pub struct Play {
     /// The program that runs a front: called as `EXE front -c FILE`.
     pub exe: PathBuf,
-    /// For everything that is drawn.
+    /// Seed of everything that is drawn.
     pub seed: u64,
-    /// For configurations, cached lists and the fronts' logs.
+    /// Directory for configurations, cached lists and the fronts' logs.
     pub dir: PathBuf,
     /// Worker threads of each front.
     pub workers: u32,
-    /// Whether the fronts know of each other, over a good net.
+    /// Whether the fronts know of each other, over a network without faults.
     pub peers: bool,
 }
 
 /// What a day showed.
 #[derive(Debug)]
 pub struct Outcome {
-    /// The judge's.
+    /// The result of the invariant checker.
     pub verdict: Verdict,
-    /// All that was seen.
+    /// All records.
     pub records: Vec<Record>,
     /// What went wrong outside the rules: fronts that ended badly, streams left at servers, bytes that differ.
     pub faults: Vec<String>,
     /// Media bytes that servers sent and players read.
     pub bytes: (u64, u64),
-    /// What crossed and what it was worth, by the servers' own records.
+    /// Traffic between zones and utility, by the servers' own records.
     pub crossed: Crossed,
-    /// The fronts' reports of traffic, together.
+    /// The fronts' traffic reports, merged.
     pub reported: TrafficReport,
-    /// When arrivals began, nanoseconds of the laboratory's clock.
+    /// When arrivals began, nanoseconds of the test bed's clock.
     pub start: u64,
 }
 
 impl Outcome {
-    /// For each zone of servers, zone of viewers and class: bytes by the servers' own logs, and by the fronts' reports.
-    pub fn flows(&self) -> BTreeMap<(String, String, String), (u64, u64)> {
-        let mut all: BTreeMap<(String, String, String), (u64, u64)> = BTreeMap::new();
+    /// Bytes of each flow: by the servers' own records, and by the fronts' reports.
+    #[must_use]
+    pub fn flows(&self) -> BTreeMap<FlowKey, (u64, u64)> {
+        let mut all: BTreeMap<FlowKey, (u64, u64)> = BTreeMap::new();
         for (key, bytes) in &self.crossed.bytes {
             all.entry(key.clone()).or_default().0 += bytes;
         }
-        for f in &self.reported.flows {
-            all.entry((f.from.clone(), f.to.clone(), f.class.clone()))
-                .or_default()
-                .1 += f.bytes;
+        for flow in &self.reported.flows {
+            let key = FlowKey {
+                from: flow.from.clone(),
+                to: flow.to.clone(),
+                class: flow.class.clone(),
+            };
+            all.entry(key).or_default().1 += flow.bytes;
         }
         all
     }
 
-    /// Whether everything was as it must be.
+    /// Whether no rule was broken and nothing else went wrong.
+    #[must_use]
     pub fn good(&self) -> bool {
         self.verdict.breaches.is_empty() && self.faults.is_empty()
     }
 }
 
-struct Front {
-    process: Process,
-    zone: usize,
-}
-
-impl Front {
-    fn start(
-        play: &Play,
-        index: u32,
-        day: &Day,
-        config: &Config,
-        list: &SocketAddr,
-        peers: &str,
-    ) -> io::Result<Front> {
-        let zone = index as usize % config.zones.len();
-        let cache = play.dir.join(format!("front-{index}.list"));
-        let block = front_block(
-            index,
-            day.fronts,
-            &config.zones[zone],
-            &list.to_string(),
-            &cache.to_string_lossy(),
-        );
-        let text = with_workers(&block, play.workers) + peers + &day.fleet;
-        let process = Process::start(&play.exe, &play.dir, &format!("front-{index}"), &text)?;
-        Ok(Front { process, zone })
-    }
-}
-
-/// The stand-ins of a day, and what its faults do to them.
-struct Stage {
-    config: Arc<Config>,
-    fleet: Arc<Fleet>,
-    list: Arc<ListService>,
-    recorder: Recorder,
-    list_delay: u64,
-}
-
-impl Stage {
-    fn listed(&self, server: u32, state: EndpointState) {
-        let address = self.fleet.servers[server as usize].address;
-        let started = if state == EndpointState::Ready {
-            clock::now() / MILLISECOND
-        } else {
-            0
-        };
-        self.list
-            .change(entry(&self.config, server, address, state, started));
-    }
-
-    fn begin(&self, fault: &Fault, fronts: &[Front]) {
-        for &server in &fault.servers {
-            let fleet = &self.fleet;
-            match fault.kind {
-                Kind::Hang => fleet.set_mode(server, |m| m.hangs = true),
-                Kind::FastErrors(part) => fleet.set_mode(server, |m| m.errors = part),
-                Kind::BillAndReset(part) => fleet.set_mode(server, |m| m.bills_and_resets = part),
-                Kind::Trickle => fleet.set_mode(server, |m| m.trickles = true),
-                Kind::ResponseFault(how) => fleet.set_mode(server, |m| m.response_fault = how),
-                Kind::Vanish => {
-                    fleet.set_mode(server, |m| m.vanished = true);
-                    self.listed(server, EndpointState::Gone);
-                }
-                Kind::Crash => {
-                    fleet.crash(server);
-                    self.listed(server, EndpointState::Gone);
-                }
-                Kind::Drain => self.listed(server, EndpointState::Draining),
-                _ => {}
-            }
-        }
-        match &fault.kind {
-            Kind::Slow(by) => self.fleet.set_slow(*by),
-            Kind::ListLate(by) => self.list.set_delay(self.list_delay + by),
-            Kind::ListGone => self.list.set_gone(true),
-            Kind::Stall(which) => {
-                for &front in which {
-                    self.recorder.see(Seen::Stalled {
-                        front,
-                        stopped: true,
-                    });
-                    fronts[front as usize].process.signal(Signal::STOP);
-                }
-            }
-            _ => {}
-        }
-    }
-
-    fn end(&self, fault: &Fault, fronts: &[Front]) -> io::Result<()> {
-        for &server in &fault.servers {
-            let fleet = &self.fleet;
-            match fault.kind {
-                Kind::Hang => fleet.set_mode(server, |m| m.hangs = false),
-                Kind::FastErrors(_) => fleet.set_mode(server, |m| m.errors = 0.0),
-                Kind::BillAndReset(_) => fleet.set_mode(server, |m| m.bills_and_resets = 0.0),
-                Kind::Trickle => fleet.set_mode(server, |m| m.trickles = false),
-                Kind::ResponseFault(_) => {
-                    fleet.set_mode(server, |m| m.response_fault = ResponseFault::default());
-                }
-                Kind::Vanish | Kind::Crash | Kind::Drain => {
-                    if fault.kind == Kind::Drain {
-                        fleet.end_sessions(server, false);
-                    }
-                    fleet.crash(server);
-                    fleet.restart(server)?;
-                    self.listed(server, EndpointState::Ready);
-                }
-                _ => {}
-            }
-        }
-        match &fault.kind {
-            Kind::Slow(_) => self.fleet.set_slow(1.0),
-            Kind::ListLate(_) => self.list.set_delay(self.list_delay),
-            Kind::ListGone => self.list.set_gone(false),
-            Kind::Stall(which) => {
-                for &front in which {
-                    fronts[front as usize].process.signal(Signal::CONT);
-                    self.recorder.see(Seen::Stalled {
-                        front,
-                        stopped: false,
-                    });
-                }
-            }
-            _ => {}
-        }
-        Ok(())
-    }
-}
-
-/// Arrivals of a day, drawn ahead: when, and who. They never wait for answers.
-pub fn arrivals(day: &Day, config: &Config, seed: u64) -> Vec<(u64, Visit)> {
-    let mut rng = StdRng::seed_from_u64(seed);
-    let mut titles: Vec<&String> = config.titles.keys().collect();
-    titles.sort();
-    let weights: Vec<f64> = (1..=titles.len())
-        .map(|n| (n as f64).powf(-day.zipf))
-        .collect();
-    let pick = |rng: &mut StdRng, weights: &[f64]| {
-        let mut left = rng.random_range(0.0..weights.iter().sum());
-        weights.iter().position(|w| {
-            left -= w;
-            left < 0.0
-        })
-    };
-    let peak = day.faults.iter().map(|f| {
-        if let Kind::Burst(times) = f.kind {
-            times.max(1.0)
-        } else {
-            1.0
-        }
-    });
-    let peak = day.rate * peak.product::<f64>();
-    let exponential = |rng: &mut StdRng, mean: f64| -mean * (1.0 - rng.random::<f64>()).ln();
-    let (mut all, mut at) = (Vec::new(), 0.0);
-    loop {
-        at += exponential(&mut rng, 1.0 / peak);
-        if at >= day.seconds() {
-            return all;
-        }
-        let time = (at * SECOND as f64) as u64;
-        if !rng.random_bool((day.rate_at(time) / peak).min(1.0)) {
-            continue; // Thinned: the rate is lower now.
-        }
-        let player_pool = day
-            .load_surge_at(time)
-            .filter(|(_, part)| rng.random_bool(*part));
-        let title = player_pool
-            .map(|(title, _)| title % titles.len())
-            .or_else(|| pick(&mut rng, &weights))
-            .unwrap_or(0);
-        let class = pick(&mut rng, &day.share).unwrap_or(0);
-        let rungs = config.settings.rung_kb.len() as u8;
-        let small = rng.random_bool(0.25);
-        all.push((
-            time,
-            Visit {
-                seed: rng.random(),
-                title: titles[title].clone(),
-                class: (class as u8, config.classes[class].clone()),
-                watch: (exponential(&mut rng, day.watch as f64) as u64)
-                    .clamp(day.watch / 10, day.watch * 4),
-                patience: config.terms.max_wait[class],
-                top: if small { rungs / 2 } else { rungs - 1 },
-                fronts: Vec::new(),
-            },
-        ));
-    }
-}
-
-/// The stand-in servers of a day.
+/// The layout of a day's stand-in servers.
+#[must_use]
 pub fn layout(day: &Day, seed: u64) -> Layout {
     Layout {
         count: day.servers as usize,
@@ -295,7 +124,8 @@
     }
 }
 
-/// How a day's viewers behave.
+/// How a day's players behave.
+#[must_use]
 pub fn habits(day: &Day) -> Habits {
     Habits {
         returns: day.returns,
@@ -312,163 +142,120 @@
 /// A front or a stand-in could not be started, or a file not be written.
 pub fn play(day: &Day, play: &Play) -> io::Result<Outcome> {
     std::fs::create_dir_all(&play.dir)?;
-    let wrong = |p: Vec<crankpaddle_config::Problem>| io::Error::other(format!("fleet: {p:?}"));
-    let config = Arc::new(fleet_config(&day.fleet).map_err(wrong)?);
-    let recorder = Recorder::default();
-    let layout = layout(day, play.seed);
-    let fleet = Fleet::start(config.clone(), &layout, recorder.clone())?;
-    let entries = fleet
-        .servers
-        .iter()
-        .map(|s| entry(&config, s.id, s.address, EndpointState::Ready, 0))
-        .collect();
-    let list = ListService::start(entries, day.list_delay, recorder.clone())?;
-    let known = if play.peers {
-        Some((
-            Mesh::start(day.fronts as usize, play.seed)?,
-            write_key(&play.dir)?,
-        ))
-    } else {
-        None
-    };
-    let views = known
-        .as_ref()
-        .map(|(mesh, _)| Views::start(day.fronts as usize, mesh));
-    let mut fronts = Vec::new();
-    for index in 0..day.fronts {
-        let peers = known
-            .as_ref()
-            .map(|(mesh, key)| mesh.block(index as usize, &[0], key, "1s"));
-        let peers = peers.unwrap_or_default();
-        let front = Front::start(play, index, day, &config, &list.address, &peers)?;
-        views
-            .iter()
-            .for_each(|views| views.runs(index as usize, Some(front.process.address)));
-        fronts.push(front);
-    }
-    let stage = Stage {
-        config: config.clone(),
-        fleet,
-        list,
-        recorder: recorder.clone(),
-        list_delay: day.list_delay,
-    };
+    let stage = start_stand_ins(day, play.seed)?;
+    let config = &stage.config;
+    let peering = Peering::start(day, play)?;
+    let mut fronts = start_fronts(day, play, &stage, peering.as_ref())?;
     let start = clock::now();
-    let played = run(day, play, &stage, &fronts);
-    let reported = merge(fronts.iter().filter_map(|f| traffic(&f.process.address)));
-    views.iter().for_each(Views::end);
-    // Whatever happened, no front is left behind.
+    let run_result = timeline::run(day, play, &stage, &fronts);
+    let addresses = fronts.iter().map(|front| &front.process.address);
+    let reported = merge(addresses.filter_map(settled_report));
+    if let Some(peering) = &peering {
+        peering.views.end();
+    }
+    // Why: the fronts are ended before the result of the run is looked at, so that none is left behind.
     let mut faults = Vec::new();
-    let within = Duration::from_nanos(config.limits.drain) + Duration::from_secs(5);
-    let ended = end_all(fronts.iter_mut().map(|f| &mut f.process), within)?;
-    faults.extend(ended);
-    faults.extend(played?);
-    let records = recorder.all();
-    let bytes = bytes(&records, day, &mut faults);
-    let verdict = judge(&Rules::of(&config, DRAIN_GRACE, BLUR), &records);
-    let crossed = crossed(&records, &config);
+    let within = Duration::from_nanos(config.limits.drain) + PROCESS_END_GRACE;
+    faults.extend(end_all(fronts.iter_mut().map(|f| &mut f.process), within)?);
+    faults.extend(run_result?);
+    let records = stage.recorder.all();
+    let bytes = count_bytes(&records);
+    faults.extend(bytes.difference(day));
+    let verdict = judge(&Rules::of(config, DRAIN_GRACE, BLUR), &records);
+    let crossed = crossed(&records, config);
     Ok(Outcome {
         verdict,
         records,
         faults,
-        bytes,
+        bytes: (bytes.sent, bytes.read),
         crossed,
         reported,
         start,
     })
 }
 
-fn run(day: &Day, play: &Play, stage: &Stage, fronts: &[Front]) -> io::Result<Vec<String>> {
-    let player_pool = Arc::new(PlayerPool::new(stage.recorder.clone(), habits(day)));
-    let mut moments: Vec<(u64, bool, &Fault)> = day
-        .faults
-        .iter()
-        .flat_map(|f| [(f.at, true, f), (f.at + f.length, false, f)])
-        .collect();
-    moments.sort_by_key(|(at, ..)| *at);
-    let mut moments = moments.into_iter().peekable();
-    let mut visits = arrivals(day, &stage.config, play.seed)
-        .into_iter()
-        .peekable();
-    let zones = stage.config.zones.len();
-    let of_zone = |zone: usize| -> Vec<(u32, SocketAddr)> {
-        let all = fronts
-            .iter()
-            .enumerate()
-            .map(|(n, f)| (n as u32, f.process.address, f.zone));
-        let own: Vec<_> = all
-            .clone()
-            .filter(|(.., z)| *z == zone)
-            .map(|(n, a, _)| (n, a))
-            .collect();
-        if own.is_empty() {
-            all.map(|(n, a, _)| (n, a)).collect()
-        } else {
-            own
-        }
+/// Checks the configuration of a day's fleet.
+pub(crate) fn config_of(day: &Day) -> io::Result<Arc<Config>> {
+    let invalid = |problems| io::Error::other(format!("fleet: {problems:?}"));
+    fleet_config(&day.fleet).map(Arc::new).map_err(invalid)
+}
+
+/// Starts servers and list service.
+fn start_stand_ins(day: &Day, seed: u64) -> io::Result<Stage> {
+    let config = config_of(day)?;
+    let recorder = Recorder::default();
+    let fleet = Fleet::start(config.clone(), &layout(day, seed), recorder.clone())?;
+    let list = start_list(&fleet, day.list_delay)?;
+    Ok(Stage {
+        config,
+        fleet,
+        list,
+        recorder,
+        list_delay: day.list_delay,
+    })
+}
+
+/// Starts a list service that has all servers of a fleet as ready.
+pub(crate) fn start_list(fleet: &Fleet, delay: u64) -> io::Result<Arc<ListService>> {
+    let listing = |server: &Arc<crate::server::Server>| {
+        let (id, address) = (server.id, server.address);
+        entry(&fleet.config, id, address, EndpointState::Ready, 0)
     };
-    let halls: Vec<_> = (0..zones).map(of_zone).collect();
-    let start = clock::now();
-    let last = start + day.length + AFTER;
-    loop {
-        let next_moment = moments.peek().map(|(at, ..)| *at);
-        let next_visit = visits.peek().map(|(at, _)| *at);
-        let Some(next) = next_moment.into_iter().chain(next_visit).min() else {
-            break;
-        };
-        let wait = (start + next).saturating_sub(clock::now());
-        std::thread::sleep(Duration::from_nanos(wait));
-        if next_moment == Some(next) {
-            let Some((_, begins, fault)) = moments.next() else {
-                break;
-            };
-            if begins {
-                stage.begin(fault, fronts);
-            } else {
-                stage.end(fault, fronts)?;
-            }
-        } else if let Some((_, mut visit)) = visits.next() {
-            visit.fronts = halls[(visit.seed % zones as u64) as usize].clone();
-            // The day is not kept open by those who would watch for minutes.
-            visit.watch = visit.watch.min(day.length - next + WATCH_ON);
-            let player_pool = player_pool.clone();
-            let until = start + day.length;
-            spawn(Stack::Usual, move || player_pool.visit(&visit, until));
-        }
-    }
-    let mut faults = Vec::new();
-    while player_pool.there() > 0 {
-        if clock::now() > last {
-            faults.push(format!("{} players never left", player_pool.there()));
-            break;
+    let entries = fleet.servers.iter().map(listing).collect();
+    ListService::start(entries, delay, fleet.recorder.clone())
+}
+
+/// The network between fronts that know each other.
+struct Peering {
+    mesh: Mesh,
+    key: PathBuf,
+    views: Views,
+}
+
+impl Peering {
+    /// Starts the network; `None` where the fronts don't know each other.
+    fn start(day: &Day, play: &Play) -> io::Result<Option<Peering>> {
+        if !play.peers {
+            return Ok(None);
         }
-        std::thread::sleep(Duration::from_millis(50));
-    }
-    // Sessions of players that did not come back are ended by the front after its time.
-    let patience = clock::now() + stage.config.terms.resume_window + 5 * SECOND;
-    while stage.fleet.streams() > 0 && clock::now() < patience {
-        std::thread::sleep(Duration::from_millis(50));
+        let fronts = day.fronts as usize;
+        let mesh = Mesh::start(fronts, play.seed)?;
+        let key = write_key(&play.dir)?;
+        let views = Views::start(fronts, &mesh);
+        Ok(Some(Peering { mesh, key, views }))
     }
-    if stage.fleet.streams() > 0 {
-        faults.push(format!(
-            "{} streams left at servers though nobody watches",
-            stage.fleet.streams()
-        ));
+
+    /// The peers' block of a front's configuration.
+    fn block(&self, front: usize) -> String {
+        self.mesh.block(front, &[0], &self.key, PROBE_INTERVAL)
     }
-    if player_pool.found_no_front() > 0 {
-        faults.push(format!(
-            "{} tries found no front",
-            player_pool.found_no_front()
-        ));
+}
+
+fn start_fronts(
+    day: &Day,
+    play: &Play,
+    stage: &Stage,
+    peering: Option<&Peering>,
+) -> io::Result<Vec<Front>> {
+    let mut fronts = Vec::new();
+    for index in 0..day.fronts {
+        let number = index as usize;
+        let peers = peering.map(|p| p.block(number)).unwrap_or_default();
+        let list = &stage.list.address;
+        let front = Front::start(play, index, day, &stage.config, list, &peers)?;
+        if let Some(peering) = peering {
+            peering.views.runs(number, Some(front.process.address));
+        }
+        fronts.push(front);
     }
-    Ok(faults)
+    Ok(fronts)
 }
 
-/// A front's report of traffic, when all of it is settled.
-fn traffic(front: &SocketAddr) -> Option<TrafficReport> {
+/// A front's traffic report once all sessions in it are settled, or the last one in time.
+fn settled_report(front: &SocketAddr) -> Option<TrafficReport> {
     let mut last = None;
-    for _ in 0..SETTLED_WITHIN {
-        let report = fetch(front, Duration::from_secs(5)).ok()?;
+    for _ in 0..SETTLED_WITHIN_SECONDS {
+        let report = fetch(front, REPORT_TIMEOUT).ok()?;
         let settled = report.unsettled_sessions == 0;
         last = Some(report);
         if settled {
@@ -479,52 +266,42 @@
     last
 }
 
-/// Bytes that servers counted as sent and players as read; what broke off differs by what was under way.
-fn bytes(records: &[Record], day: &Day, faults: &mut Vec<String>) -> (u64, u64) {
-    let (mut sent, mut read, mut watched) = (0u64, 0u64, 0u64);
+/// Media bytes as both sides counted them.
+struct ByteCounts {
+    sent: u64,
+    read: u64,
+    /// Sessions that players read.
+    watched_sessions: u64,
+}
+
+fn count_bytes(records: &[Record]) -> ByteCounts {
+    let mut counts = ByteCounts {
+        sent: 0,
+        read: 0,
+        watched_sessions: 0,
+    };
     for record in records {
         match &record.seen {
-            Seen::Ended { bytes, .. } => sent += bytes,
+            Seen::Ended { bytes, .. } => counts.sent += bytes,
             Seen::Fetched { bytes, .. } => {
-                read += bytes;
-                watched += 1;
+                counts.read += bytes;
+                counts.watched_sessions += 1;
             }
             _ => {}
         }
     }
-    let mean = read.checked_div(watched).unwrap_or(0);
-    // A session that breaks off leaves at most a segment between the two counts.
-    let segments = day.segment.max(1);
-    let allowed = sent / 50 + mean * segments / day.watch.max(1) * 10;
-    if sent.abs_diff(read) > allowed + 1_000_000 {
-        faults.push(format!(
-            "servers sent {sent} media bytes and players read {read}"
-        ));
-    }
-    (sent, read)
+    counts
 }
 
-/// Writes records as JSON lines.
-///
-/// # Errors
-/// The file can't be written.
-pub fn write_records(path: &Path, records: &[Record]) -> io::Result<()> {
-    let mut file = io::BufWriter::new(File::create(path)?);
-    for record in records {
-        serde_json::to_writer(&mut file, record)?;
-        file.write_all(b"\n")?;
+impl ByteCounts {
+    /// The fault where the two counts differ by more than what was in transit.
+    fn difference(&self, day: &Day) -> Option<String> {
+        let (sent, read) = (self.sent, self.read);
+        let mean = read.checked_div(self.watched_sessions).unwrap_or(0);
+        // A session that breaks off leaves at most a segment between the two counts.
+        let segment = day.segment.max(1);
+        let allowed = sent / 50 + mean * segment / day.watch.max(1) * 10;
+        (sent.abs_diff(read) > allowed + BYTE_TOLERANCE)
+            .then(|| format!("servers sent {sent} media bytes and players read {read}"))
     }
-    file.flush()
-}
-
-/// Reads records that [`write_records`] wrote.
-///
-/// # Errors
-/// The file can't be read, or a line is no record; the line is named.
-pub fn read_records(path: &Path) -> io::Result<Vec<Record>> {
-    let lines = BufReader::new(File::open(path)?).lines().enumerate();
-    let read = |(n, line): (usize, io::Result<String>)| {
-        serde_json::from_str(&line?).map_err(|e| io::Error::other(format!("line {}: {e}", n + 1)))
-    };
-    lines.map(read).collect()
 }
--- /dev/null
+++ b/crates/testbed/src/scenario_runner/stage.rs
@@ -0,0 +1,168 @@
+//! The fronts and stand-ins of a day, and how its faults begin and end at them.
+use super::{Play, MILLISECOND};
+use crate::fault_mode::ResponseFault;
+use crate::list_service::{entry, ListService};
+use crate::process::{with_workers, Process};
+use crate::record::{Recorder, Seen};
+use crate::script::{front_block, Day, Fault, Kind};
+use crate::server::Fleet;
+use crankpaddle_config::Config;
+use crankpaddle_net::clock;
+use crankpaddle_server_protocol::list::EndpointState;
+use rustix::process::Signal;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// A front's process.
+pub(super) struct Front {
+    pub(super) process: Process,
+    /// Its zone by number.
+    pub(super) zone: usize,
+}
+
+impl Front {
+    pub(super) fn start(
+        play: &Play,
+        index: u32,
+        day: &Day,
+        config: &Config,
+        list: &SocketAddr,
+        peers: &str,
+    ) -> io::Result<Front> {
+        let zone = index as usize % config.zones.len();
+        let cache = play.dir.join(format!("front-{index}.list"));
+        let block = front_block(
+            index,
+            day.fronts,
+            &config.zones[zone],
+            &list.to_string(),
+            &cache.to_string_lossy(),
+        );
+        let text = with_workers(&block, play.workers) + peers + &day.fleet;
+        let process = Process::start(&play.exe, &play.dir, &format!("front-{index}"), &text)?;
+        Ok(Front { process, zone })
+    }
+}
+
+/// The stand-ins of a day.
+pub(super) struct Stage {
+    pub(super) config: Arc<Config>,
+    pub(super) fleet: Arc<Fleet>,
+    pub(super) list: Arc<ListService>,
+    pub(super) recorder: Recorder,
+    /// Delay of the list service without faults, nanoseconds.
+    pub(super) list_delay: u64,
+}
+
+impl Stage {
+    fn change_listing(&self, server: u32, state: EndpointState) {
+        let address = self.fleet.servers[server as usize].address;
+        let started_ms = if state == EndpointState::Ready {
+            clock::now() / MILLISECOND
+        } else {
+            0
+        };
+        let listing = entry(&self.config, server, address, state, started_ms);
+        self.list.change(listing);
+    }
+
+    /// Begins a fault.
+    pub(super) fn begin(&self, fault: &Fault, fronts: &[Front]) {
+        for &server in &fault.servers {
+            self.begin_at_server(&fault.kind, server);
+        }
+        match &fault.kind {
+            Kind::Slow(by) => self.fleet.set_slow(*by),
+            Kind::ListLate(by) => self.list.set_delay(self.list_delay + by),
+            Kind::ListGone => self.list.set_gone(true),
+            Kind::Stall(which) => {
+                for &front in which {
+                    self.recorder.see(Seen::Stalled {
+                        front,
+                        stopped: true,
+                    });
+                    fronts[front as usize].process.signal(Signal::STOP);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn begin_at_server(&self, kind: &Kind, server: u32) {
+        let fleet = &self.fleet;
+        match *kind {
+            Kind::Hang => fleet.set_mode(server, |mode| mode.hangs = true),
+            Kind::FastErrors(part) => fleet.set_mode(server, |mode| mode.errors = part),
+            Kind::BillAndReset(part) => {
+                fleet.set_mode(server, |mode| mode.bills_and_resets = part);
+            }
+            Kind::Trickle => fleet.set_mode(server, |mode| mode.trickles = true),
+            Kind::ResponseFault(response_fault) => {
+                fleet.set_mode(server, |mode| mode.response_fault = response_fault);
+            }
+            Kind::Vanish => {
+                fleet.set_mode(server, |mode| mode.vanished = true);
+                self.change_listing(server, EndpointState::Gone);
+            }
+            Kind::Crash => {
+                fleet.crash(server);
+                self.change_listing(server, EndpointState::Gone);
+            }
+            Kind::Drain => self.change_listing(server, EndpointState::Draining),
+            _ => {}
+        }
+    }
+
+    /// Ends a fault.
+    pub(super) fn end(&self, fault: &Fault, fronts: &[Front]) -> io::Result<()> {
+        for &server in &fault.servers {
+            self.end_at_server(&fault.kind, server)?;
+        }
+        match &fault.kind {
+            Kind::Slow(_) => self.fleet.set_slow(1.0),
+            Kind::ListLate(_) => self.list.set_delay(self.list_delay),
+            Kind::ListGone => self.list.set_gone(false),
+            Kind::Stall(which) => {
+                for &front in which {
+                    fronts[front as usize].process.signal(Signal::CONT);
+                    self.recorder.see(Seen::Stalled {
+                        front,
+                        stopped: false,
+                    });
+                }
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn end_at_server(&self, kind: &Kind, server: u32) -> io::Result<()> {
+        let fleet = &self.fleet;
+        match kind {
+            Kind::Hang => fleet.set_mode(server, |mode| mode.hangs = false),
+            Kind::FastErrors(_) => fleet.set_mode(server, |mode| mode.errors = 0.0),
+            Kind::BillAndReset(_) => fleet.set_mode(server, |mode| mode.bills_and_resets = 0.0),
+            Kind::Trickle => fleet.set_mode(server, |mode| mode.trickles = false),
+            Kind::ResponseFault(_) => {
+                fleet.set_mode(server, |mode| {
+                    mode.response_fault = ResponseFault::default();
+                });
+            }
+            Kind::Vanish | Kind::Crash => self.restart_server(server)?,
+            Kind::Drain => {
+                fleet.end_sessions(server, false);
+                self.restart_server(server)?;
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn restart_server(&self, server: u32) -> io::Result<()> {
+        self.fleet.crash(server);
+        self.fleet.restart(server)?;
+        self.change_listing(server, EndpointState::Ready);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/scenario_runner/timeline.rs
@@ -0,0 +1,151 @@
+//! The run of a day: its faults and arrivals in the order of their times, then the wait for its end.
+use super::stage::{Front, Stage};
+use super::{arrivals, habits, Play, SECOND};
+use crate::player::{PlayerPool, Visit};
+use crate::script::{Day, Fault};
+use crate::wind_down::{wait_for_players, wait_for_streams};
+use crankpaddle_net::{clock, spawn, Stack};
+use std::io;
+use std::iter::Peekable;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::vec::IntoIter;
+
+/// After the day's end sessions are watched for this long at most.
+const WATCH_AFTER_END: u64 = 10 * SECOND;
+/// After the last arrival the players have this long to leave.
+const PLAYERS_LEAVE_WITHIN: u64 = 40 * SECOND;
+
+/// The begin or end of a fault; nanoseconds from the start of the day.
+struct Transition<'a> {
+    at: u64,
+    begins: bool,
+    fault: &'a Fault,
+}
+
+/// Fronts that a player may choose from, by number.
+type FrontAddresses = Vec<(u32, SocketAddr)>;
+
+struct Timeline<'a> {
+    day: &'a Day,
+    stage: &'a Stage,
+    fronts: &'a [Front],
+    players: Arc<PlayerPool>,
+    fronts_by_zone: Vec<FrontAddresses>,
+    transitions: Peekable<IntoIter<Transition<'a>>>,
+    visits: Peekable<IntoIter<(u64, Visit)>>,
+    /// When the day started.
+    start: u64,
+}
+
+/// Runs a day; what was not as it must be outside the rules.
+pub(super) fn run(
+    day: &Day,
+    play: &Play,
+    stage: &Stage,
+    fronts: &[Front],
+) -> io::Result<Vec<String>> {
+    let players = Arc::new(PlayerPool::new(stage.recorder.clone(), habits(day)));
+    let zones = 0..stage.config.zones.len();
+    let mut timeline = Timeline {
+        day,
+        stage,
+        fronts,
+        players: players.clone(),
+        transitions: transitions(day).into_iter().peekable(),
+        visits: arrivals(day, &stage.config, play.seed)
+            .into_iter()
+            .peekable(),
+        fronts_by_zone: zones.map(|zone| fronts_for_zone(fronts, zone)).collect(),
+        start: clock::now(),
+    };
+    let deadline = timeline.start + day.length + PLAYERS_LEAVE_WITHIN;
+    timeline.run_to_end()?;
+    let mut faults = Vec::new();
+    faults.extend(wait_for_players(&players, deadline));
+    faults.extend(wait_for_streams(&stage.fleet));
+    let found_no_front = players.found_no_front();
+    if found_no_front > 0 {
+        faults.push(format!("{found_no_front} tries found no front"));
+    }
+    Ok(faults)
+}
+
+/// Begins and ends of all faults in the order of time.
+fn transitions(day: &Day) -> Vec<Transition<'_>> {
+    let mut transitions = Vec::new();
+    for fault in &day.faults {
+        transitions.push(Transition {
+            at: fault.at,
+            begins: true,
+            fault,
+        });
+        transitions.push(Transition {
+            at: fault.at + fault.length,
+            begins: false,
+            fault,
+        });
+    }
+    transitions.sort_by_key(|transition| transition.at);
+    transitions
+}
+
+/// The fronts of a zone; all fronts where it has none.
+fn fronts_for_zone(fronts: &[Front], zone: usize) -> FrontAddresses {
+    let addresses_where = |accepts: &dyn Fn(&Front) -> bool| -> FrontAddresses {
+        let numbered = fronts.iter().enumerate();
+        numbered
+            .filter(|(_, front)| accepts(front))
+            .map(|(number, front)| (number as u32, front.process.address))
+            .collect()
+    };
+    let own = addresses_where(&|front| front.zone == zone);
+    if own.is_empty() {
+        return addresses_where(&|_| true);
+    }
+    own
+}
+
+impl Timeline<'_> {
+    fn run_to_end(&mut self) -> io::Result<()> {
+        loop {
+            let next_transition = self.transitions.peek().map(|transition| transition.at);
+            let next_visit = self.visits.peek().map(|(at, _)| *at);
+            let Some(next) = next_transition.into_iter().chain(next_visit).min() else {
+                return Ok(());
+            };
+            let wait = (self.start + next).saturating_sub(clock::now());
+            std::thread::sleep(Duration::from_nanos(wait));
+            if next_transition == Some(next) {
+                self.apply_next_transition()?;
+            } else {
+                self.start_next_visit();
+            }
+        }
+    }
+
+    fn apply_next_transition(&mut self) -> io::Result<()> {
+        let Some(Transition { begins, fault, .. }) = self.transitions.next() else {
+            return Ok(());
+        };
+        if begins {
+            self.stage.begin(fault, self.fronts);
+            return Ok(());
+        }
+        self.stage.end(fault, self.fronts)
+    }
+
+    fn start_next_visit(&mut self) {
+        let Some((at, mut visit)) = self.visits.next() else {
+            return;
+        };
+        let zones = self.fronts_by_zone.len() as u64;
+        visit.fronts = self.fronts_by_zone[(visit.seed % zones) as usize].clone();
+        // Why: a few long sessions would keep the run going long after the day.
+        visit.watch = visit.watch.min(self.day.length - at + WATCH_AFTER_END);
+        let players = self.players.clone();
+        let until = self.start + self.day.length;
+        spawn(Stack::Usual, move || players.visit(&visit, until));
+    }
+}
