--- a/crates/testbed/src/script.rs
+++ b/crates/testbed/src/script/mod.rs
@@ -12,7 +12,7 @@
 const SECOND: f64 = 1e9;
 
 /// The built-in fleet: a configuration without its front block.
-pub const FLEET: &str = include_str!("../days/fleet.textproto");
+pub const FLEET: &str = include_str!("../../days/fleet.textproto");
 
 /// A built-in fleet by its name: the usual one, or one whose servers take long to warm.
 pub fn built_in_fleet(name: &str) -> Option<String> {
@@ -30,13 +30,13 @@
 
 /// The built-in days by name.
 pub const DAYS: [(&str, &str); 7] = [
-    ("calm", include_str!("../days/calm.textproto")),
-    ("trouble", include_str!("../days/trouble.textproto")),
-    ("smoke", include_str!("../days/smoke.textproto")),
-    ("quiet", include_str!("../days/quiet.textproto")),
-    ("hall", include_str!("../days/hall.textproto")),
-    ("astray", include_str!("../days/astray.textproto")),
-    ("night", include_str!("../days/night.textproto")),
+    ("calm", include_str!("../../days/calm.textproto")),
+    ("trouble", include_str!("../../days/trouble.textproto")),
+    ("smoke", include_str!("../../days/smoke.textproto")),
+    ("quiet", include_str!("../../days/quiet.textproto")),
+    ("hall", include_str!("../../days/hall.textproto")),
+    ("astray", include_str!("../../days/astray.textproto")),
+    ("night", include_str!("../../days/night.textproto")),
 ];
 
 /// What goes wrong.
