--- a/crates/testbed/src/import/tests.rs
+++ b/crates/testbed/src/import/tests.rs
@@ -31,7 +31,9 @@
         fronts: 3,
     };
     let imported = import(json, "x", "x-fleet", fit).unwrap();
-    let day = script::parse(&imported.day, |_| Ok(imported.fleet.clone()));
+    let day = script::parse(&imported.day, |_| {
+        Ok::<_, std::convert::Infallible>(imported.fleet.clone())
+    });
     let day = day.unwrap_or_else(|p| panic!("{p:?}\n{}\n{}", imported.day, imported.fleet));
     (imported, day)
 }
--- /dev/null
+++ b/crates/testbed/src/script/check.rs
@@ -0,0 +1,282 @@
+//! Reads a day from protobuf text format and checks its values.
+use super::{fleet_config, Day, Fault, Kind};
+use crate::fault_mode::ResponseFault;
+use crankpaddle_config::Problem;
+use crankpaddle_textproto::Checks;
+use schema::fault::Kind as RawKind;
+use std::fmt;
+
+#[allow(missing_docs, unreachable_pub)] // Generated; the schema has comments of its own.
+mod schema {
+    include!(concat!(env!("OUT_DIR"), "/crankpaddle.lab.v1.rs"));
+}
+
+const DESCRIPTORS: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/day.binpb"));
+const DAY_MESSAGE: &str = "crankpaddle.lab.v1.Day";
+/// The parts of all classes may differ from 1 by this much through rounding.
+const SHARE_TOLERANCE: f64 = 1e-6;
+const NO_KIND: &str = "has no kind: hang, fast_errors, crash, vanish, slow, burst, crowd, list_late, list_gone, stall, \
+                       drain, bill_and_reset, trickle or astray";
+
+/// Checks a script. `fleet` returns the text of a fleet's configuration by its name.
+///
+/// # Errors
+/// Everything that is wrong in it, in the order of the file.
+pub fn parse<E: fmt::Display>(
+    text: &str,
+    fleet: impl Fn(&str) -> Result<String, E>,
+) -> Result<Day, Vec<Problem>> {
+    let mut checks = Checks::new(text);
+    let raw = checks.structure::<schema::Day>(DESCRIPTORS, DAY_MESSAGE, "");
+    let day = raw.map(|raw| {
+        check_required(&mut checks, &raw);
+        let fleet_text = fleet(&raw.fleet).unwrap_or_else(|e| {
+            checks.wrong("fleet", e.to_string());
+            String::new()
+        });
+        check_day(&mut checks, &raw, fleet_text)
+    });
+    checks.verdict(day)
+}
+
+fn check_required(checks: &mut Checks<'_>, raw: &schema::Day) {
+    checks.must(raw.servers.is_some(), "servers", "is missing");
+    checks.must(raw.traffic.is_some(), "traffic", "is missing");
+    checks.must(!raw.name.is_empty(), "name", "is missing");
+}
+
+/// What a day's fleet has, as far as a script refers to it.
+struct FleetSize {
+    zones: Vec<String>,
+    classes: usize,
+    cells: u32,
+}
+
+fn check_fleet(checks: &mut Checks<'_>, fleet: &str) -> FleetSize {
+    match fleet_config(fleet) {
+        Ok(config) => FleetSize {
+            classes: config.classes.len(),
+            cells: config.settings.cells,
+            zones: config.zones,
+        },
+        Err(problems) => {
+            let first = problems.first().map(ToString::to_string);
+            let first = first.unwrap_or_default();
+            checks.wrong("fleet", format!("is no configuration: {first}"));
+            FleetSize {
+                zones: vec![],
+                classes: 0,
+                cells: 1,
+            }
+        }
+    }
+}
+
+fn check_server_count(checks: &mut Checks<'_>, count: u32, cells: u32) -> u32 {
+    let count = checks.count("servers.count", count, 1, 500);
+    if count < cells {
+        checks.wrong(
+            "servers.count",
+            format!("is {count}; the fleet's {cells} cells need as many at least"),
+        );
+    }
+    count
+}
+
+fn check_shares(checks: &mut Checks<'_>, share: &[f64], classes: usize) {
+    let sum = share.iter().sum::<f64>();
+    let fits = classes == share.len() && (sum - 1.0).abs() < SHARE_TOLERANCE;
+    checks.must(
+        fits,
+        "traffic.share",
+        "is one part for each class, 1 in all",
+    );
+}
+
+fn check_day(checks: &mut Checks<'_>, raw: &schema::Day, fleet_without_budgets: String) -> Day {
+    let servers = raw.servers.clone().unwrap_or_default();
+    let traffic = raw.traffic.clone().unwrap_or_default();
+    let fleet = format!("{fleet_without_budgets}{}", raw.budgets);
+    let size = check_fleet(checks, &fleet);
+    let server_count = check_server_count(checks, servers.count, size.cells);
+    check_shares(checks, &traffic.share, size.classes);
+    let scope = FaultScope {
+        zones: &size.zones,
+        servers: server_count,
+        fronts: checks.count("fronts", raw.fronts, 1, 200),
+        day_length: checks.time("length", &raw.length),
+    };
+    let mut faults = Vec::new();
+    for (index, fault) in raw.fault.iter().enumerate() {
+        let path = format!("fault[{index}]");
+        faults.push(
+            FaultCheck {
+                checks,
+                path,
+                scope: &scope,
+            }
+            .check(fault),
+        );
+    }
+    Day {
+        name: raw.name.clone(),
+        length: scope.day_length,
+        fronts: scope.fronts,
+        fleet,
+        fleet_without_budgets,
+        servers: server_count,
+        cores: checks.count("servers.cores", servers.cores, 1, 256),
+        work: checks.time("servers.set_up_work", &servers.set_up_work),
+        uneven: checks.within("servers.uneven", servers.uneven, 0.0, 0.9),
+        segment: checks.time("servers.segment", &servers.segment),
+        rate: checks.within("traffic.rate", traffic.rate, 0.001, 1e6),
+        share: traffic.share.clone(),
+        watch: checks.time("traffic.watch", &traffic.watch),
+        zipf: checks.within("traffic.zipf", traffic.zipf, 0.0, 5.0),
+        returns: checks.within("traffic.returns", traffic.returns, 0.0, 1.0),
+        return_after: checks.time("traffic.back_after", &traffic.back_after),
+        honour: checks.within("traffic.honour", traffic.honour, 0.0, 1.0),
+        reconnect: checks.within("traffic.reconnect", traffic.reconnect, 0.0, 1.0),
+        faults,
+        list_delay: checks.time("list_delay", &raw.list_delay),
+    }
+}
+
+/// What a fault may refer to.
+struct FaultScope<'a> {
+    zones: &'a [String],
+    servers: u32,
+    fronts: u32,
+    /// Nanoseconds.
+    day_length: u64,
+}
+
+struct FaultCheck<'a, 't> {
+    checks: &'a mut Checks<'t>,
+    /// Path of the fault in the script.
+    path: String,
+    scope: &'a FaultScope<'a>,
+}
+
+impl FaultCheck<'_, '_> {
+    fn check(mut self, raw: &schema::Fault) -> Fault {
+        let at_path = self.field("at");
+        let at = self.checks.time(&at_path, &raw.at);
+        let length_path = self.field("length");
+        let length = self.checks.time(&length_path, &raw.length);
+        let in_day = at < self.scope.day_length;
+        self.checks.must(in_day, &at_path, "is after the day's end");
+        let servers = self.servers(raw);
+        let names_servers = !needs_servers(raw.kind.as_ref()) || !servers.is_empty();
+        self.checks
+            .must(names_servers, &self.path, "names no server and no zone");
+        let kind = self.kind(raw.kind.as_ref());
+        Fault {
+            at,
+            length,
+            servers,
+            kind,
+        }
+    }
+
+    fn field(&self, name: &str) -> String {
+        format!("{}.{name}", self.path)
+    }
+
+    fn part(&mut self, field: &str, value: f64) -> f64 {
+        let path = self.field(field);
+        self.checks.within(&path, value, 0.0, 1.0)
+    }
+
+    /// The servers that are named by number and by zone.
+    fn servers(&mut self, raw: &schema::Fault) -> Vec<u32> {
+        let FaultScope { zones, servers, .. } = *self.scope;
+        let mut named = raw.server.clone();
+        if named.iter().any(|server| *server >= servers) {
+            let path = self.field("server");
+            let allowed = format!("allowed: 0 to {}", servers - 1);
+            self.checks.wrong(&path, allowed);
+        }
+        if raw.zone.is_empty() {
+            return named;
+        }
+        if let Some(zone) = zones.iter().position(|name| *name == raw.zone) {
+            named.extend((0..servers).filter(|server| *server as usize % zones.len() == zone));
+        } else {
+            let path = self.field("zone");
+            let known = zones.join(", ");
+            let what = format!("{:?} is not a zone: {known}", raw.zone);
+            self.checks.wrong(&path, what);
+        }
+        named
+    }
+
+    fn kind(&mut self, raw: Option<&RawKind>) -> Kind {
+        let Some(raw) = raw else {
+            self.checks.wrong(&self.path, NO_KIND);
+            return Kind::Hang;
+        };
+        match raw {
+            RawKind::Hang(_) => Kind::Hang,
+            RawKind::FastErrors(f) => Kind::FastErrors(self.part("fast_errors.part", f.part)),
+            RawKind::Crash(_) => Kind::Crash,
+            RawKind::Vanish(_) => Kind::Vanish,
+            RawKind::Slow(f) => {
+                Kind::Slow(self.checks.within(&self.field("slow.by"), f.by, 1.0, 100.0))
+            }
+            RawKind::Burst(f) => {
+                let path = self.field("burst.times");
+                Kind::Burst(self.checks.within(&path, f.times, 0.0, 100.0))
+            }
+            RawKind::Crowd(f) => Kind::LoadSurge(f.title as usize, self.part("crowd.part", f.part)),
+            RawKind::ListLate(f) => {
+                let path = self.field("list_late.by");
+                Kind::ListLate(self.checks.time(&path, &f.by))
+            }
+            RawKind::ListGone(_) => Kind::ListGone,
+            RawKind::Stall(f) => self.stall(f),
+            RawKind::Drain(_) => Kind::Drain,
+            RawKind::BillAndReset(f) => {
+                Kind::BillAndReset(self.part("bill_and_reset.part", f.part))
+            }
+            RawKind::Trickle(_) => Kind::Trickle,
+            RawKind::Astray(f) => self.response_fault(f),
+        }
+    }
+
+    fn stall(&mut self, raw: &schema::Stall) -> Kind {
+        let path = self.field("stall.front");
+        let known = raw.front.iter().all(|front| *front < self.scope.fronts);
+        self.checks.must(known, &path, "is no front of this day");
+        Kind::Stall(raw.front.clone())
+    }
+
+    fn response_fault(&mut self, raw: &schema::Astray) -> Kind {
+        let late_path = self.field("astray.late");
+        let late = if raw.late.is_empty() {
+            0
+        } else {
+            self.checks.time(&late_path, &raw.late)
+        };
+        Kind::ResponseFault(ResponseFault {
+            late,
+            lost: self.part("astray.lost", raw.lost),
+            duplicated: self.part("astray.doubled", raw.doubled),
+        })
+    }
+}
+
+/// Whether a fault falls on servers; the others fall on all, on fronts, on players or on the list service.
+fn needs_servers(kind: Option<&RawKind>) -> bool {
+    !matches!(
+        kind,
+        Some(
+            RawKind::Slow(_)
+                | RawKind::Burst(_)
+                | RawKind::Crowd(_)
+                | RawKind::ListLate(_)
+                | RawKind::ListGone(_)
+                | RawKind::Stall(_)
+        )
+    )
+}
