--- /dev/null
+++ b/crates/testbed/src/fleet/arrivals.rs
@@ -0,0 +1,71 @@
+//! The players of a case: they arrive as on a day, until the case is over, and choose among the fronts that run.
+use super::SECOND;
+use crate::membership_poll::Views;
+use crate::player::{PlayerPool, Visit};
+use crate::scenario_runner::arrivals;
+use crate::script::Day;
+use crankpaddle_config::Config;
+use crankpaddle_net::{clock, spawn, Stack};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+/// Arrivals are drawn for this long; no case is longer.
+const LONGEST_CASE: u64 = 3600 * SECOND;
+
+/// A thread that starts the visits.
+pub(super) struct Arrivals {
+    over: Arc<AtomicBool>,
+    thread: JoinHandle<()>,
+}
+
+impl Arrivals {
+    pub(super) fn start(
+        day: &Day,
+        config: &Config,
+        seed: u64,
+        players: &Arc<PlayerPool>,
+        views: &Views,
+    ) -> Arrivals {
+        let long_day = Day {
+            length: LONGEST_CASE,
+            ..day.clone()
+        };
+        let visits = arrivals(&long_day, config, seed);
+        let over = Arc::new(AtomicBool::new(false));
+        let (players, views, case_over) = (players.clone(), views.clone(), over.clone());
+        let thread = std::thread::spawn(move || start_visits(visits, &players, &views, &case_over));
+        Arrivals { over, thread }
+    }
+
+    /// Ends the arrivals; the fault where their thread panicked.
+    pub(super) fn stop(self) -> Option<String> {
+        self.over.store(true, Ordering::Release);
+        let died = self.thread.join().is_err();
+        died.then(|| "the thread that sends players died".to_owned())
+    }
+}
+
+fn start_visits(
+    visits: Vec<(u64, Visit)>,
+    players: &Arc<PlayerPool>,
+    views: &Views,
+    over: &AtomicBool,
+) {
+    let start = clock::now();
+    for (at, mut visit) in visits {
+        let wait = (start + at).saturating_sub(clock::now());
+        std::thread::sleep(Duration::from_nanos(wait));
+        if over.load(Ordering::Acquire) {
+            return;
+        }
+        visit.fronts = views.running();
+        if visit.fronts.is_empty() {
+            continue;
+        }
+        let players = players.clone();
+        let until = clock::now() + visit.patience + visit.watch;
+        spawn(Stack::Usual, move || players.visit(&visit, until));
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/fleet/cost.rs
@@ -0,0 +1,55 @@
+//! What the fronts of a case cost.
+use super::SECOND;
+use crate::record::{PlayerReply, Record, Seen};
+use std::collections::HashMap;
+
+/// What the fronts of a case cost, as players and the operating system measured it.
+#[derive(Clone, Copy, Debug)]
+pub struct Cost {
+    /// Median and 99th percentile of the time from a call to its answer 'plays', nanoseconds.
+    pub answered: (u64, u64),
+    /// Processor time of all fronts that ended, nanoseconds.
+    pub cpu: u64,
+}
+
+impl Cost {
+    /// Call once all fronts have ended: the processor time is that of all children of this process that were waited for.
+    pub(super) fn of(records: &[Record]) -> Cost {
+        let mut times = answer_times(records);
+        times.sort_unstable();
+        let percentile = |part: f64| {
+            let index = (times.len() as f64 * part) as usize;
+            times.get(index).copied().unwrap_or(0)
+        };
+        Cost {
+            answered: (percentile(0.5), percentile(0.99)),
+            cpu: children_cpu_time(),
+        }
+    }
+}
+
+/// Times from call to answer of the calls whose session plays.
+fn answer_times(records: &[Record]) -> Vec<u64> {
+    let mut opened_at: HashMap<u64, u64> = HashMap::new();
+    let mut times = Vec::new();
+    for Record { at, seen } in records {
+        match seen {
+            Seen::OpenSent { call, .. } => {
+                opened_at.insert(*call, *at);
+            }
+            Seen::CallAnswered {
+                call,
+                reply: PlayerReply::Plays,
+            } => times.extend(opened_at.get(call).map(|opened| at - opened)),
+            _ => {}
+        }
+    }
+    times
+}
+
+fn children_cpu_time() -> u64 {
+    let ticks = procfs::process::Process::myself()
+        .and_then(|me| me.stat())
+        .map_or(0, |stat| stat.cutime + stat.cstime);
+    ticks.max(0) as u64 * SECOND / procfs::ticks_per_second()
+}
--- /dev/null
+++ b/crates/testbed/src/fleet/power.rs
@@ -0,0 +1,70 @@
+//! Power losses of the hosts of fronts and servers.
+use super::Harness;
+use crankpaddle_fault_simulation::{Fronts, Power};
+use std::io;
+
+impl Harness<'_> {
+    /// Viewers that lost their session with the power, of all classes or the paid ones.
+    pub(super) fn lost(&self, paid: bool) -> (u64, u64, u64) {
+        let is_paid = |class: u8| {
+            let classes = &self.stage.config.settings.classes;
+            let class = classes.get(usize::from(class));
+            class.is_some_and(|c| c.idempotency == crankpaddle::Idempotency::AtMostOnce)
+        };
+        self.players.lost(|class| !paid || is_paid(class))
+    }
+
+    /// Carries out a step of a power loss.
+    pub(super) fn power(&mut self, power: &Power) -> io::Result<()> {
+        let fronts = self.processes.len();
+        let servers = self.stage.fleet.servers.len();
+        let Some(hosts) = &mut self.hosts else {
+            return Err(io::Error::other("the case has no hosts"));
+        };
+        match power {
+            Power::Off(of_fronts, of_servers, list) => {
+                self.power_off(&of_fronts.of(fronts), &of_servers.of(servers), *list)
+            }
+            Power::On(of_fronts, of_servers, list) => {
+                self.power_on(&of_fronts.of(fronts), &of_servers.of(servers), *list)
+            }
+            Power::Copy(of_fronts) => hosts.copy(&of_fronts.of(fronts)),
+            Power::Disk(of_fronts, spoil) => hosts.spoil(&of_fronts.of(fronts), *spoil),
+            Power::LoseBooks(of_servers) => {
+                self.lose_inventories(of_servers);
+                Ok(())
+            }
+        }
+    }
+
+    fn power_off(&mut self, fronts: &[usize], servers: &[usize], list: bool) -> io::Result<()> {
+        self.players.power_went();
+        if let Some(hosts) = &mut self.hosts {
+            hosts.off(fronts)?;
+            // Why: the servers first, by microseconds, as in a real power loss: a front that runs on for that long sees
+            // their connections break.
+            hosts.servers_off(&self.stage.fleet, servers);
+        }
+        if list {
+            self.stage.list.set_gone(true);
+        }
+        self.kill(fronts)
+    }
+
+    fn power_on(&mut self, fronts: &[usize], servers: &[usize], list: bool) -> io::Result<()> {
+        if let Some(hosts) = &self.hosts {
+            hosts.servers_on(&self.stage.fleet, &self.stage.list, servers)?;
+        }
+        if list {
+            self.stage.list.set_gone(false);
+        }
+        self.start(fronts)
+    }
+
+    fn lose_inventories(&self, of_servers: &Fronts) {
+        let servers = self.stage.fleet.servers.len();
+        for id in of_servers.of(servers) {
+            self.stage.fleet.lose_inventory(id as u32);
+        }
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/fleet/processes.rs
@@ -0,0 +1,149 @@
+//! The processes of the fronts: started, killed, ended, stopped and resumed.
+use super::Harness;
+use crate::process::{end_all, with_workers, Process};
+use crate::record::Seen;
+use crate::script::front_block;
+use rustix::process::Signal;
+use std::io;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Time beyond its configured drain in which a front's process must end.
+const PROCESS_END_GRACE: Duration = Duration::from_secs(5);
+
+/// The configuration of a front that is to start.
+struct FrontConfig {
+    front: usize,
+    text: String,
+}
+
+impl Harness<'_> {
+    fn config_text(&self, front: usize) -> String {
+        let zones = &self.stage.config.zones;
+        let block = front_block(
+            front as u32,
+            self.plan.fronts,
+            &zones[front % zones.len()],
+            &self.stage.list.address.to_string(),
+            &self.cache(front).to_string_lossy(),
+        );
+        let probe_every = &self.plan.probe_every;
+        let peers = self
+            .key
+            .as_ref()
+            .map(|key| self.mesh.block(front, &self.seeds, key, probe_every));
+        let store = self.hosts.as_ref().map(|hosts| hosts.block(front));
+        with_workers(&block, self.plan.workers)
+            + &peers.unwrap_or_default()
+            + &store.unwrap_or_default()
+            + &self.stage.text
+    }
+
+    /// File of the cached endpoint list.
+    fn cache(&self, front: usize) -> PathBuf {
+        self.plan.dir.join(format!("front-{front}.list"))
+    }
+
+    /// Starts those of the fronts that don't run, all at the same time.
+    pub(super) fn start(&mut self, fronts: &[usize]) -> io::Result<()> {
+        let mut configs = Vec::new();
+        for front in fronts.iter().copied() {
+            if self.processes[front].is_none() {
+                let text = self.config_text(front);
+                configs.push(FrontConfig { front, text });
+            }
+        }
+        // A front starts without state; only a host with power losses keeps its disk.
+        if self.hosts.is_none() {
+            for config in &configs {
+                let _ = std::fs::remove_file(self.cache(config.front)); // It may never have been written.
+            }
+        }
+        for (front, process) in self.start_processes(&configs) {
+            let process = process?;
+            self.views.runs(front, Some(process.address));
+            self.processes[front] = Some(process);
+        }
+        Ok(())
+    }
+
+    fn start_processes(&self, configs: &[FrontConfig]) -> Vec<(usize, io::Result<Process>)> {
+        let start_one = |config: &FrontConfig| {
+            let name = format!("front-{}", config.front);
+            let other = self.plan.other.as_ref();
+            let exe = other.filter(|_| self.others[config.front]);
+            let exe = exe.unwrap_or(&self.plan.exe);
+            Process::start(exe, &self.plan.dir, &name, &config.text)
+        };
+        let start_one = &start_one;
+        std::thread::scope(|scope| {
+            let threads: Vec<_> = configs
+                .iter()
+                .map(|config| (config.front, scope.spawn(move || start_one(config))))
+                .collect();
+            let panicked = |_| Err(io::Error::other("the thread that started it died"));
+            threads
+                .into_iter()
+                .map(|(front, thread)| (front, thread.join().unwrap_or_else(panicked)))
+                .collect()
+        })
+    }
+
+    /// Kills fronts. All get the signal before any is waited for.
+    pub(super) fn kill(&mut self, fronts: &[usize]) -> io::Result<()> {
+        for front in fronts.iter().copied() {
+            if let Some(process) = &self.processes[front] {
+                let died = Seen::Died {
+                    front: front as u32,
+                };
+                self.stage.recorder.see(died);
+                process.signal(Signal::KILL);
+                self.views.runs(front, None);
+            }
+        }
+        for front in fronts.iter().copied() {
+            if let Some(process) = self.processes[front].take() {
+                process.kill()?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends fronts by a graceful shutdown; the faults of those that ended badly.
+    pub(super) fn end(&mut self, fronts: &[usize]) -> io::Result<Vec<String>> {
+        let mut ending = Vec::new();
+        for front in fronts.iter().copied() {
+            ending.extend(self.processes[front].take());
+        }
+        for front in fronts.iter().copied() {
+            self.views.runs(front, None);
+        }
+        let drain = Duration::from_nanos(self.stage.config.limits.drain);
+        end_all(ending.iter_mut(), drain + PROCESS_END_GRACE)
+    }
+
+    /// Stops the processes of fronts, or resumes them.
+    pub(super) fn stop(&mut self, fronts: &[usize], stopped: bool) {
+        for front in fronts.iter().copied() {
+            if self.stopped[front] == stopped {
+                continue;
+            }
+            let Some(process) = &self.processes[front] else {
+                continue;
+            };
+            let seen = Seen::Stalled {
+                front: front as u32,
+                stopped,
+            };
+            // Invariant: the recorded stall covers the real one.
+            if stopped {
+                self.stage.recorder.see(seen);
+                process.signal(Signal::STOP);
+            } else {
+                process.signal(Signal::CONT);
+                self.stage.recorder.see(seen);
+            }
+            self.stopped[front] = stopped;
+        }
+    }
+}
