Players: connection, attempt and watching in modules, typed outcomes

One file of 561 lines; an attempt was a function of 74 lines and a visit knew its outcome as nested options.

--- /dev/null
+++ b/crates/testbed/src/player/watch.rs
@@ -0,0 +1,191 @@
+//! A player that watches: it fetches segments until it has seen enough or the session ends.
+use super::attempt::Outcome;
+use super::{Client, PlayerPool, CONNECT_TIMEOUT, MILLISECOND, SECOND};
+use crate::record::Seen;
+use crankpaddle_http::head;
+use crankpaddle_net::exchange::HttpExchange;
+use crankpaddle_net::{clock, sleep, IdleSweeper, Socket};
+use crankpaddle_session_api::client::{self, ClientEvent};
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Pause after a segment that could not be fetched.
+const FETCH_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for a segment beyond the end of the watching, nanoseconds.
+const SEGMENT_GRACE: u64 = SECOND;
+/// Time for the front to answer the close of a session, nanoseconds.
+const CLOSE_TIMEOUT: u64 = 2 * SECOND;
+
+/// Where a session's media is.
+struct MediaLocation {
+    address: SocketAddr,
+    target: String,
+    /// Name of the session at its server.
+    session_name: String,
+}
+
+impl MediaLocation {
+    fn parse(url: &str) -> Option<MediaLocation> {
+        let (address, path) = url.strip_prefix("http://")?.split_once('/')?;
+        Some(MediaLocation {
+            address: address.parse().ok()?,
+            target: format!("/{path}"),
+            session_name: path.split('/').nth(1).unwrap_or("").to_owned(),
+        })
+    }
+}
+
+/// What a player has received from its front since it last looked.
+struct Received {
+    session_over: Option<SessionOver>,
+    /// Whether the connection is closed.
+    disconnected: bool,
+}
+
+struct SessionOver {
+    /// The front's Retry-After, nanoseconds.
+    retry_after: Option<u64>,
+}
+
+/// The part of a segment that was read.
+struct Fetched {
+    bytes: u64,
+    complete: bool,
+}
+
+impl Fetched {
+    const NOTHING: Fetched = Fetched {
+        bytes: 0,
+        complete: false,
+    };
+}
+
+impl PlayerPool {
+    /// Watches a session for `time` nanoseconds.
+    pub(super) fn watch(
+        &self,
+        mut client: Client,
+        session: &str,
+        media: &str,
+        time: u64,
+    ) -> Outcome {
+        let until = clock::now() + time;
+        let Some(location) = MediaLocation::parse(media) else {
+            return Outcome::StaysAway;
+        };
+        let name = location.session_name.clone();
+        let mut reader = MediaReader {
+            location,
+            sweeper: &self.sweeper,
+            exchange: None,
+        };
+        let mut bytes = 0u64;
+        while self.stays(until) {
+            let fetched = reader.fetch_segment(until);
+            bytes += fetched.bytes;
+            if !fetched.complete {
+                sleep(FETCH_RETRY_INTERVAL);
+            }
+            let received = receive(&mut client);
+            if received.disconnected && self.habits.keeps_key && clock::now() < until {
+                self.recorder.see(Seen::Fetched { name, bytes });
+                return Outcome::FrontLost;
+            }
+            if let Some(SessionOver { retry_after }) = received.session_over {
+                self.recorder.see(Seen::Fetched { name, bytes });
+                client.close();
+                return Outcome::MayReturn { retry_after };
+            }
+        }
+        self.recorder.see(Seen::Fetched { name, bytes });
+        self.close_session(client, session);
+        Outcome::Watched
+    }
+
+    fn close_session(&self, mut client: Client, session: &str) {
+        let call = self.next_call.fetch_add(1, Ordering::Relaxed);
+        let _ = client.send(client::close(call, session)); // Without its front the session is over too.
+        let deadline = clock::now() + CLOSE_TIMEOUT;
+        while let Ok(event) = client.next(deadline) {
+            if matches!(event, ClientEvent::Closed { id } | ClientEvent::Unknown { id } if id == call)
+            {
+                break;
+            }
+        }
+        client.close();
+    }
+}
+
+/// Receives what the front has sent.
+fn receive(client: &mut Client) -> Received {
+    let mut received = Received {
+        session_over: None,
+        disconnected: false,
+    };
+    loop {
+        match client.poll() {
+            Ok(Some(ClientEvent::End { retry_after_ms, .. })) => {
+                let retry_after = retry_after_ms.map(|ms| ms * MILLISECOND);
+                received.session_over = Some(SessionOver { retry_after });
+            }
+            Ok(Some(_)) => {}
+            Ok(None) => return received,
+            Err(_) => {
+                received.disconnected = true;
+                return received;
+            }
+        }
+    }
+}
+
+/// Fetches the media of a session over one connection, as long as that works.
+struct MediaReader<'a> {
+    location: MediaLocation,
+    sweeper: &'a IdleSweeper,
+    exchange: Option<HttpExchange>,
+}
+
+impl MediaReader<'_> {
+    /// Fetches a segment; the next one uses a new connection where this one is incomplete.
+    fn fetch_segment(&mut self, until: u64) -> Fetched {
+        let fetched = self.try_fetch(until).unwrap_or(Fetched::NOTHING);
+        if !fetched.complete {
+            self.exchange = None;
+        }
+        fetched
+    }
+
+    /// `None` where the request failed before the body.
+    fn try_fetch(&mut self, until: u64) -> Option<Fetched> {
+        let location = &self.location;
+        let exchange = match &mut self.exchange {
+            Some(exchange) => exchange,
+            none => {
+                let socket = Arc::new(Socket::connect(&location.address, CONNECT_TIMEOUT).ok()?);
+                self.sweeper.watch(&socket);
+                none.insert(HttpExchange::new(socket))
+            }
+        };
+        exchange.socket.set_expiry(until + SEGMENT_GRACE);
+        let host = location.address.to_string();
+        let request = head::request("GET", &location.target, &host, &[], b"");
+        exchange.socket.write_all(&request).ok()?;
+        let response = exchange.response_head().ok()?;
+        if response.status != 200 {
+            return None;
+        }
+        let framing = response.framing().ok()?;
+        Some(match exchange.drain_body(framing) {
+            Ok(bytes) => Fetched {
+                bytes,
+                complete: true,
+            },
+            Err((bytes, _)) => Fetched {
+                bytes,
+                complete: false,
+            },
+        })
+    }
+}
