--- a/crates/testbed/src/list_service.rs
+++ b/crates/testbed/src/list_service.rs
@@ -1,4 +1,4 @@
-//! Stand-in list service: knows which processes run, and tells every front late.
+//! Stand-in list service: it has the list of the servers that run, and sends changes to every front with a delay.
 use crate::record::{Recorder, Seen};
 use crankpaddle_config::Config;
 use crankpaddle_front::EndpointListKind;
@@ -14,20 +14,39 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+/// Interval at which due changes are sent.
 const TICK: Duration = Duration::from_millis(20);
-const HEARTBEAT: u64 = 500_000_000;
+/// Nanoseconds between two heartbeats of a stream.
+const HEARTBEAT_INTERVAL: u64 = 500_000_000;
+/// Longest request body, bytes.
+const MAX_BODY: u64 = 1024;
+/// Bytes that a stream may have unsent.
+const STREAM_BUFFER: usize = 1 << 20;
+const STREAM_HEAD: &[u8] =
+    b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n";
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// A change that fronts receive later.
+struct DelayedChange {
+    due: u64,
+    entry: EndpointEntry,
+}
+
+/// A front's stream of events.
+struct Subscriber {
+    front: String,
+    stream: Arc<WriteBuffer>,
+}
+
 #[derive(Default)]
-struct Known {
-    /// What fronts are told by now.
+struct State {
+    /// The list as fronts have it by now.
     list: EndpointListBody,
-    /// Changes that they are told later.
-    late: VecDeque<(u64, EndpointEntry)>,
-    fronts: Vec<(String, Arc<WriteBuffer>)>,
+    delayed: VecDeque<DelayedChange>,
+    subscribers: Vec<Subscriber>,
 }
 
 /// The service.
@@ -35,12 +54,14 @@
     /// Where it listens.
     pub address: SocketAddr,
     recorder: Recorder,
-    known: Mutex<Known>,
+    state: Mutex<State>,
+    /// Nanoseconds.
     delay: AtomicU64,
     gone: AtomicBool,
 }
 
-/// An entry for a stand-in server.
+/// The list's entry for a stand-in server; `started_ms` is 0 where it started long ago.
+#[must_use]
 pub fn entry(
     config: &Config,
     id: u32,
@@ -63,7 +84,7 @@
 }
 
 impl ListService {
-    /// Starts with a list that everyone is told at once; changes come `delay` nanoseconds late.
+    /// Starts with a list that every front receives at once; changes are sent `delay` nanoseconds late.
     ///
     /// # Errors
     /// No port can be listened on.
@@ -73,99 +94,90 @@
         recorder: Recorder,
     ) -> io::Result<Arc<ListService>> {
         let listener = listen(([127, 0, 0, 1], 0).into())?;
-        let known = Known {
+        let state = State {
             list: EndpointListBody { serial: 1, servers },
-            ..Known::default()
+            ..State::default()
         };
         let service = Arc::new(ListService {
             address: listener.local_addr()?,
             recorder,
-            known: Mutex::new(known),
+            state: Mutex::new(state),
             delay: AtomicU64::new(delay),
             gone: AtomicBool::new(false),
         });
-        let of_fronts = service.clone();
+        let acceptor = service.clone();
         accept_each(listener, Arc::default(), move |socket| {
-            of_fronts.serve(Arc::new(socket));
-        });
-        let teller = service.clone();
-        spawn(Stack::Usual, move || {
-            let mut beat = 0;
-            loop {
-                sleep(TICK);
-                let now = clock::now();
-                let beats = now >= beat + HEARTBEAT;
-                beat = if beats { now } else { beat };
-                teller.notify_subscribers(now, beats);
-            }
+            acceptor.serve(&Arc::new(socket));
         });
+        let notifier = service.clone();
+        spawn(Stack::Usual, move || notifier.run());
         Ok(service)
     }
 
-    /// Changes are told so late from now on, nanoseconds.
+    /// Sets the delay of changes from now on, nanoseconds.
     pub fn set_delay(&self, delay: u64) {
         self.delay.store(delay, Ordering::Release);
     }
 
-    /// Gone: nobody is answered and streams break; or back.
+    /// Makes the service unreachable (`true`): nobody is answered and streams break. Or reachable again.
     pub fn set_gone(&self, gone: bool) {
         self.gone.store(gone, Ordering::Release);
-        if gone {
-            lock(&self.known)
-                .fronts
-                .drain(..)
-                .for_each(|(_, outbox)| outbox.socket().close());
+        if !gone {
+            return;
+        }
+        for subscriber in lock(&self.state).subscribers.drain(..) {
+            subscriber.stream.socket().close();
         }
     }
 
-    /// Something changed; fronts are told later.
+    /// Changes an entry; fronts receive it after the delay.
     pub fn change(&self, entry: EndpointEntry) {
-        let at = clock::now() + self.delay.load(Ordering::Acquire);
-        lock(&self.known).late.push_back((at, entry));
+        let due = clock::now() + self.delay.load(Ordering::Acquire);
+        let change = DelayedChange { due, entry };
+        lock(&self.state).delayed.push_back(change);
     }
 
-    fn notify_subscribers(&self, now: u64, beats: bool) {
-        let mut known = lock(&self.known);
-        let known = &mut *known;
-        let mut due = Vec::new();
-        known.late.retain(|(at, entry)| {
-            let ripe = *at <= now;
-            due.extend(ripe.then(|| entry.clone()));
-            !ripe
-        });
-        known
-            .fronts
-            .retain(|(_, outbox)| !outbox.socket().is_closed());
-        if beats && !self.gone.load(Ordering::Acquire) {
-            for (_, outbox) in &known.fronts {
-                outbox.push(sse::HEARTBEAT);
+    /// Sends changes and heartbeats until the process ends.
+    fn run(&self) {
+        let mut last_heartbeat = 0;
+        loop {
+            sleep(TICK);
+            let now = clock::now();
+            let heartbeat_due = now >= last_heartbeat + HEARTBEAT_INTERVAL;
+            if heartbeat_due {
+                last_heartbeat = now;
+            }
+            self.notify_subscribers(now, heartbeat_due);
+        }
+    }
+
+    fn notify_subscribers(&self, now: u64, heartbeat_due: bool) {
+        let mut state = lock(&self.state);
+        let due = state.take_due(now);
+        state.remove_closed();
+        if heartbeat_due && !self.gone.load(Ordering::Acquire) {
+            for subscriber in &state.subscribers {
+                subscriber.stream.push(sse::HEARTBEAT);
             }
         }
         if due.is_empty() {
             return;
         }
-        known.list.serial += 1;
-        for entry in &due {
-            known.list.servers.retain(|e| e.id != entry.id);
-            known
-                .list
-                .servers
-                .extend((entry.state != EndpointState::Gone).then(|| entry.clone()));
-        }
-        let delta = list::write(
-            EndpointListKind::Delta,
-            &EndpointListBody {
-                serial: known.list.serial,
-                servers: due.clone(),
-            },
-        );
-        for (front, outbox) in &known.fronts {
-            outbox.push(&delta);
-            due.iter().for_each(|entry| self.listed(front, entry));
+        state.apply(&due);
+        let body = EndpointListBody {
+            serial: state.list.serial,
+            servers: due,
+        };
+        let delta = list::write(EndpointListKind::Delta, &body);
+        for subscriber in &state.subscribers {
+            subscriber.stream.push(&delta);
+            for entry in &body.servers {
+                self.record_listed(&subscriber.front, entry);
+            }
         }
     }
 
-    fn listed(&self, front: &str, entry: &EndpointEntry) {
+    fn record_listed(&self, front: &str, entry: &EndpointEntry) {
         let ready = entry.state == EndpointState::Ready;
         self.recorder.see(Seen::Listed {
             front: front.to_owned(),
@@ -174,35 +186,63 @@
         });
     }
 
-    fn serve(&self, socket: Arc<Socket>) {
-        let mut wire = HttpExchange::new(socket.clone());
-        let Ok((request, _)) = wire.request(1024, 0) else {
+    /// Serves a front's stream of events until the front closes it.
+    fn serve(&self, socket: &Arc<Socket>) {
+        let mut exchange = HttpExchange::new(socket.clone());
+        let Ok((request, _)) = exchange.request(MAX_BODY, 0) else {
             return;
         };
-        let front = request
-            .path()
-            .1
-            .strip_prefix("front=")
-            .unwrap_or("")
-            .to_owned();
-        if self.gone.load(Ordering::Acquire) || request.path().0 != "/servers/events" {
+        let (path, query) = request.path();
+        if self.gone.load(Ordering::Acquire) || path != "/servers/events" {
             return;
         }
-        let outbox = Arc::new(WriteBuffer::new(socket.clone(), 1 << 20));
-        let head =
-            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n";
-        {
-            let mut known = lock(&self.known);
-            let full_list = list::write(EndpointListKind::Full, &known.list);
-            outbox.push(&[head.as_bytes(), &full_list].concat());
-            known
-                .list
-                .servers
-                .iter()
-                .for_each(|entry| self.listed(&front, entry));
-            known.fronts.push((front, outbox.clone()));
-        }
-        outbox.until_closed(); // Nothing more comes from the front but its end.
+        let front = query.strip_prefix("front=").unwrap_or("").to_owned();
+        let stream = Arc::new(WriteBuffer::new(socket.clone(), STREAM_BUFFER));
+        self.subscribe(front, &stream);
+        stream.until_closed(); // The front sends nothing more on this connection.
         socket.close();
     }
+
+    /// Sends the list and registers the front for changes, in one step: no change is missed in between.
+    fn subscribe(&self, front: String, stream: &Arc<WriteBuffer>) {
+        let mut state = lock(&self.state);
+        let full_list = list::write(EndpointListKind::Full, &state.list);
+        stream.push(&[STREAM_HEAD, &full_list].concat());
+        for entry in &state.list.servers {
+            self.record_listed(&front, entry);
+        }
+        let stream = stream.clone();
+        state.subscribers.push(Subscriber { front, stream });
+    }
+}
+
+impl State {
+    /// Takes out the changes that are due, in the order in which they were made.
+    fn take_due(&mut self, now: u64) -> Vec<EndpointEntry> {
+        let mut due = Vec::new();
+        for change in std::mem::take(&mut self.delayed) {
+            if change.due <= now {
+                due.push(change.entry);
+            } else {
+                self.delayed.push_back(change);
+            }
+        }
+        due
+    }
+
+    fn remove_closed(&mut self) {
+        self.subscribers
+            .retain(|subscriber| !subscriber.stream.socket().is_closed());
+    }
+
+    /// Applies changes to the list.
+    fn apply(&mut self, changes: &[EndpointEntry]) {
+        self.list.serial += 1;
+        for change in changes {
+            self.list.servers.retain(|entry| entry.id != change.id);
+            if change.state != EndpointState::Gone {
+                self.list.servers.push(change.clone());
+            }
+        }
+    }
 }
--- a/crates/testbed/src/membership_poll.rs
+++ b/crates/testbed/src/membership_poll.rs
@@ -1,4 +1,4 @@
-//! What fronts tell of each other at `GET /members`, asked for over and over: the only word that a rig takes on them.
+//! What fronts report of each other at `GET /members`, polled all the time: the only source about members that a case uses.
 use crate::udp_proxy::Mesh;
 use crankpaddle_api::describe::{Members, OwnStanding, PeerState};
 use crankpaddle_fault_simulation::{number, Turn};
@@ -9,51 +9,53 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// Time between two questions.
-const EVERY: Duration = Duration::from_millis(200);
-/// One that does not answer in this time is asked again.
-const WITHIN: Duration = Duration::from_secs(1);
+/// Time between two polls of a front.
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// A front that does not answer in this time is polled again.
+const POLL_TIMEOUT: Duration = Duration::from_secs(1);
+const MILLISECOND: u64 = 1_000_000;
 
-/// What one front was heard to say, in one life of its.
+/// What one incarnation of a front reported.
 #[derive(Default)]
 struct View {
-    address: Option<SocketAddr>, // None: it does not run.
+    /// `None` where the front does not run.
+    address: Option<SocketAddr>,
     incarnation: u64,
     states: Vec<Option<MemberState>>,
     local_health: Option<LocalHealth>,
-    last: u64, // Number of its last change that was heard.
+    /// Number of the last change that was received.
+    last_change: u64,
 }
 
 #[derive(Default)]
-struct All {
+struct State {
     views: Vec<View>,
     state_changes: Vec<Turn>,
     missed: Vec<String>,
 }
 
-/// All views, kept up by a thread for each front.
+/// The views of all fronts, updated by a thread for each front.
 #[derive(Clone)]
 pub struct Views {
-    all: Arc<Mutex<All>>,
+    state: Arc<Mutex<State>>,
     over: Arc<AtomicBool>,
     mesh: Mesh,
 }
 
 impl Views {
-    /// Begins to ask; no front runs yet. Where each is reached by its peers is told to the mesh.
+    /// Starts to poll; no front runs yet. The addresses at which fronts are reached by their peers are passed to the mesh.
+    #[must_use]
     pub fn start(fronts: usize, mesh: &Mesh) -> Views {
-        let views = (0..fronts)
-            .map(|_| View {
-                states: vec![None; fronts],
-                ..View::default()
-            })
-            .collect();
-        let all = All {
-            views,
-            ..All::default()
+        let new_view = |_| View {
+            states: vec![None; fronts],
+            ..View::default()
+        };
+        let state = State {
+            views: (0..fronts).map(new_view).collect(),
+            ..State::default()
         };
         let views = Views {
-            all: Arc::new(Mutex::new(all)),
+            state: Arc::new(Mutex::new(state)),
             over: Arc::default(),
             mesh: mesh.clone(),
         };
@@ -62,133 +64,138 @@
             std::thread::spawn(move || {
                 while !views.over.load(Ordering::Acquire) {
                     views.poll(front);
-                    std::thread::sleep(EVERY);
+                    std::thread::sleep(POLL_INTERVAL);
                 }
             });
         }
         views
     }
 
-    fn lock(&self) -> MutexGuard<'_, All> {
-        self.all.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// A front runs here now, from nothing; `None`: it runs no more.
+    /// Sets where a front runs from now on, without any state; `None`: it does not run any more.
     pub fn runs(&self, front: usize, address: Option<SocketAddr>) {
-        let mut all = self.lock();
-        let view = &mut all.views[front];
-        (view.address, view.local_health, view.last) = (address, None, 0);
+        let mut state = self.lock();
+        let view = &mut state.views[front];
+        view.address = address;
+        view.local_health = None;
+        view.last_change = 0;
         view.incarnation += 1;
-        view.states.iter_mut().for_each(|state| *state = None);
+        view.states.fill(None);
     }
 
-    /// No more is asked.
+    /// Ends the polling.
     pub fn end(&self) {
         self.over.store(true, Ordering::Release);
     }
 
     fn poll(&self, front: usize) {
-        let (address, life) = {
-            let all = self.lock();
-            (all.views[front].address, all.views[front].incarnation)
+        let state = self.lock();
+        let (address, incarnation) = {
+            let view = &state.views[front];
+            (view.address, view.incarnation)
         };
+        drop(state);
         let Some(address) = address else { return };
-        // One that stands still does not answer; it is asked again.
-        let Ok(body) = crankpaddle_traffic_report::get(&address, "/members", WITHIN) else {
+        // A front that is stopped does not answer; it is polled again.
+        let Ok(body) = crankpaddle_traffic_report::get(&address, "/members", POLL_TIMEOUT) else {
             return;
         };
         let now = clock::now();
         let Ok(members) = serde_json::from_slice::<Members>(&body) else {
-            self.lock()
-                .missed
-                .push(format!("front {front} told of no members"));
+            let missed = format!("front {front} told of no members");
+            self.lock().missed.push(missed);
             return;
         };
-        if let Ok(home) = members.address.parse() {
-            self.mesh.home(front, home);
-        }
-        let mut all = self.lock();
-        let All {
-            views,
-            state_changes: turns,
-            missed,
-        } = &mut *all;
-        let view = &mut views[front];
-        if view.incarnation != life {
-            return; // Another process runs there now.
+        if let Ok(peer_address) = members.address.parse() {
+            self.mesh.home(front, peer_address);
         }
-        view.local_health = Some(local_health(members.standing));
-        for peer in &members.members {
-            if let Some(known) = number(&peer.name).and_then(|of| view.states.get_mut(of)) {
-                *known = Some(state(peer.state));
-            }
-        }
-        let last_received = view.last;
-        for turn in members.turns.iter().filter(|t| t.number > last_received) {
-            if turn.number != view.last + 1 {
-                missed.push(format!(
-                    "front {front}: changes {} to {} were missed",
-                    view.last + 1,
-                    turn.number - 1
-                ));
-            }
-            view.last = turn.number;
-            let Some(of) = number(&turn.name) else {
-                continue;
-            };
-            let at = now.saturating_sub(turn.ago_ms * 1_000_000);
-            turns.push(Turn {
-                at,
-                by: front,
-                of,
-                state: state(turn.state),
-                restarted: turn.restarted,
-            });
+        let mut state = self.lock();
+        if state.views[front].incarnation == incarnation {
+            state.update(front, &members, now);
         }
     }
 
-    /// Where players find the fronts that run.
+    /// The fronts that run, by number and address for players.
+    #[must_use]
     pub fn running(&self) -> Vec<(u32, SocketAddr)> {
-        let all = self.lock();
-        let running = all
-            .views
-            .iter()
-            .enumerate()
-            .filter_map(|(i, v)| Some((i as u32, v.address?)));
-        running.collect()
+        let state = self.lock();
+        let views = state.views.iter().enumerate();
+        views
+            .filter_map(|(front, view)| Some((front as u32, view.address?)))
+            .collect()
     }
 
-    /// What one takes another for.
+    /// The state that one front has of another.
+    #[must_use]
     pub fn state(&self, at: usize, of: usize) -> Option<MemberState> {
         self.lock().views[at].states[of]
     }
 
-    /// How one stands.
+    /// The health that a front reports of itself.
+    #[must_use]
     pub fn local_health(&self, at: usize) -> Option<LocalHealth> {
         self.lock().views[at].local_health
     }
 
-    /// Changes from a time on, in the order of their times.
+    /// Changes of state since a time, in the order of their times.
+    #[must_use]
     pub fn state_changes(&self, from: u64) -> Vec<Turn> {
-        let mut state_changes: Vec<Turn> = self
-            .lock()
-            .state_changes
-            .iter()
-            .filter(|t| t.at >= from)
-            .cloned()
-            .collect();
-        state_changes.sort_by_key(|t| t.at);
+        let state = self.lock();
+        let since = state.state_changes.iter().filter(|turn| turn.at >= from);
+        let mut state_changes: Vec<Turn> = since.cloned().collect();
+        state_changes.sort_by_key(|turn| turn.at);
         state_changes
     }
 
-    /// What could not be heard.
+    /// Descriptions of the reports and changes that were missed.
+    #[must_use]
     pub fn missed(&self) -> Vec<String> {
         self.lock().missed.clone()
     }
 }
 
-fn state(told: PeerState) -> MemberState {
-    match told {
+impl State {
+    /// Takes over a front's report, which arrived at `now`.
+    fn update(&mut self, front: usize, members: &Members, now: u64) {
+        let view = &mut self.views[front];
+        view.local_health = Some(local_health(members.standing));
+        for peer in &members.members {
+            if let Some(known) = number(&peer.name).and_then(|of| view.states.get_mut(of)) {
+                *known = Some(member_state(peer.state));
+            }
+        }
+        let last_received = view.last_change;
+        for turn in &members.turns {
+            if turn.number <= last_received {
+                continue;
+            }
+            let expected = view.last_change + 1;
+            if turn.number != expected {
+                let last_missed = turn.number - 1;
+                self.missed.push(format!(
+                    "front {front}: changes {expected} to {last_missed} were missed"
+                ));
+            }
+            view.last_change = turn.number;
+            let Some(of) = number(&turn.name) else {
+                continue;
+            };
+            self.state_changes.push(Turn {
+                at: now.saturating_sub(turn.ago_ms * MILLISECOND),
+                by: front,
+                of,
+                state: member_state(turn.state),
+                restarted: turn.restarted,
+            });
+        }
+    }
+}
+
+fn member_state(reported: PeerState) -> MemberState {
+    match reported {
         PeerState::Alive => MemberState::Alive,
         PeerState::Suspect => MemberState::Suspect,
         PeerState::Gone => MemberState::Gone,
@@ -196,8 +203,8 @@
     }
 }
 
-fn local_health(told: OwnStanding) -> LocalHealth {
-    match told {
+fn local_health(reported: OwnStanding) -> LocalHealth {
+    match reported {
         OwnStanding::Alone => LocalHealth::Alone,
         OwnStanding::Connected => LocalHealth::Connected,
         OwnStanding::Doubtful => LocalHealth::Degraded,
--- a/crates/testbed/src/udp_proxy.rs
+++ b/crates/testbed/src/udp_proxy.rs
@@ -1,10 +1,12 @@
-//! The net between fronts' peers: a UDP socket for every ordered pair, in the middle, where a [`Weather`] decides what becomes
-//! of each datagram.
+//! The network between the fronts' peers: a UDP socket in the middle for every ordered pair of fronts, with a model of the
+//! network conditions that delays, loses or duplicates each datagram.
 //!
-//! A front's book names, for each other front, the socket that stands for it. What a front sends there goes to the other from the
-//! socket that stands for the sender in the other's book. Where a front itself is reached is learned from what it sends and says.
+//! A front's configuration names, for each other front, the socket that stands for it. What a front sends there is delivered
+//! to the other from the socket that stands for the sender in the other's configuration. The proxy learns a front's own
+//! address from what the front sends and reports.
 //!
-//! It runs on a thread of its own, so that what it adds to a datagram's time is its wait in epoll and nothing of the stand-ins'.
+//! The proxy runs on a thread of its own, so that it adds to a datagram's delay only its wait in epoll and nothing of the
+//! stand-ins' work.
 use crankpaddle_fault_simulation::Weather;
 use crankpaddle_net::clock;
 use rustix::event::epoll::{self, CreateFlags, EventData, EventFlags};
@@ -16,19 +18,18 @@
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError, Weak};
 
-/// Events taken at once.
+/// Events and datagrams handled at once.
 const BATCH: usize = 256;
-/// Bytes of a datagram.
-const LONGEST: usize = 2048;
-/// Changes are looked for so often, nanoseconds.
-const LOOK: u64 = 5_000_000;
-
-/// The fleet's key, as good as any on loopback.
+/// Bytes of a datagram at most.
+const MAX_DATAGRAM: usize = 2048;
+/// Longest wait for a datagram, after which changes are applied; nanoseconds.
+const MAX_WAIT: u64 = 5_000_000;
+/// The fleet's key: any will do on loopback.
 const KEY: &str = "c0ffee00c0ffee00c0ffee00c0ffee00";
 
-/// Writes the key of a fleet; where it is.
+/// Writes the key of a fleet; returns its path.
 ///
 /// # Errors
 /// The file can't be written.
@@ -38,68 +39,56 @@
     Ok(path)
 }
 
-type Change = Box<dyn FnOnce(&mut Carrier) + Send>;
+type Change = Box<dyn FnOnce(&mut Proxy) + Send>;
+type Changes = Mutex<Vec<Change>>;
+/// The socket of each ordered pair of fronts, `None` for a front and itself.
 type Sockets = Vec<Option<UdpSocket>>;
 
-/// The net between so many fronts.
+/// What a front sent.
+#[derive(Default)]
+struct SentCounts {
+    datagrams: AtomicU64,
+    bytes: AtomicU64,
+}
+
+/// A handle on the network between the fronts.
 #[derive(Clone)]
 pub struct Mesh {
     size: usize,
     addresses: Vec<Option<SocketAddr>>,
-    changes: Arc<Mutex<Vec<Change>>>,
-    sent: Arc<Vec<(AtomicU64, AtomicU64)>>,
+    changes: Arc<Changes>,
+    sent: Arc<Vec<SentCounts>>,
 }
 
 impl Mesh {
-    /// Opens all sockets; the net is good. It goes on until all copies of this are dropped.
+    /// Opens all sockets; the network is without faults. It runs until all copies of this handle are dropped.
     ///
     /// # Errors
     /// A socket can't be opened.
     pub fn start(size: usize, seed: u64) -> io::Result<Mesh> {
-        let mut sockets: Sockets = Vec::new();
         let poll = epoll::create(CreateFlags::CLOEXEC)?;
-        for (from, to) in (0..size).flat_map(|a| (0..size).map(move |b| (a, b))) {
-            let socket = (from != to)
-                .then(|| UdpSocket::bind("127.0.0.1:0"))
-                .transpose()?;
-            if let Some(socket) = &socket {
-                socket.set_nonblocking(true)?;
-                epoll::add(
-                    &poll,
-                    socket,
-                    EventData::new_u64(sockets.len() as u64),
-                    EventFlags::IN,
-                )?;
-            }
-            sockets.push(socket);
-        }
-        let address = |s: &Option<UdpSocket>| s.as_ref().map(UdpSocket::local_addr).transpose();
+        let sockets = open_sockets(size, &poll)?;
+        let address = |socket: &Option<UdpSocket>| {
+            let socket = socket.as_ref();
+            socket.map(UdpSocket::local_addr).transpose()
+        };
         let addresses = sockets.iter().map(address).collect::<io::Result<_>>()?;
-        let sent: Arc<Vec<_>> = Arc::new((0..size).map(|_| Default::default()).collect());
-        let changes: Arc<Mutex<Vec<Change>>> = Arc::default();
-        let mut carrier = Carrier {
+        let sent: Arc<Vec<SentCounts>> =
+            Arc::new((0..size).map(|_| SentCounts::default()).collect());
+        let changes: Arc<Changes> = Arc::default();
+        let proxy = Proxy {
             size,
             sockets,
             poll,
-            homes: vec![None; size],
+            front_addresses: vec![None; size],
             conditions: Weather::fair((0, 0)),
             rng: oorandom::Rand64::new(u128::from(seed)),
-            under_way: BinaryHeap::new(),
-            count: 0,
+            in_transit: BinaryHeap::new(),
+            datagram_count: 0,
             sent: sent.clone(),
         };
-        let wanted = Arc::downgrade(&changes);
-        std::thread::spawn(move || {
-            while let Some(changes) = wanted.upgrade() {
-                let changes =
-                    std::mem::take(&mut *changes.lock().unwrap_or_else(PoisonError::into_inner));
-                changes.into_iter().for_each(|change| change(&mut carrier));
-                if let Err(e) = carrier.step() {
-                    // The fronts find that nobody hears them, and the claims fail.
-                    return eprintln!("the net between fronts has ended: {e}");
-                }
-            }
-        });
+        let handle_changes = Arc::downgrade(&changes);
+        std::thread::spawn(move || proxy.run(&handle_changes));
         Ok(Mesh {
             size,
             addresses,
@@ -108,146 +97,207 @@
         })
     }
 
-    /// Where one finds another, in its book.
+    /// The address at which a front's configuration has another front.
+    #[must_use]
     pub fn way(&self, from: usize, to: usize) -> Option<SocketAddr> {
         self.addresses.get(from * self.size + to).copied().flatten()
     }
 
-    /// The block of a front's configuration with which it knows the others by this net.
+    /// The block of a front's configuration with which it knows the others by this network.
+    #[must_use]
     pub fn block(&self, front: usize, seeds: &[usize], key: &Path, probe_every: &str) -> String {
-        let seeds = seeds
-            .iter()
-            .filter_map(|seed| self.way(front, *seed))
-            .map(|at| format!("  seed: \"{at}\"\n"));
+        let seed = |seed: &usize| {
+            let address = self.way(front, *seed)?;
+            Some(format!("  seed: \"{address}\"\n"))
+        };
         let way = |to: usize| {
+            let address = self.way(front, to)?;
             Some(format!(
-                "  way {{ name: \"front-{to}\" address: \"{}\" }}\n",
-                self.way(front, to)?
+                "  way {{ name: \"front-{to}\" address: \"{address}\" }}\n"
             ))
         };
-        let (seeds, ways): (String, String) =
-            (seeds.collect(), (0..self.size).filter_map(way).collect());
+        let seeds: String = seeds.iter().filter_map(seed).collect();
+        let ways: String = (0..self.size).filter_map(way).collect();
         format!(
             "peers {{\n  name: \"front-{front}\"\n  listen: \"127.0.0.1:0\"\n  key_file: {key:?}\n  \
              probe_every: {probe_every:?}\n{seeds}{ways}}}\n"
         )
     }
 
-    fn notify(&self, change: Change) {
-        self.changes
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .push(change);
+    fn queue(&self, change: Change) {
+        let mut changes = self.changes.lock().unwrap_or_else(PoisonError::into_inner);
+        changes.push(change);
     }
 
-    /// Changes what becomes of datagrams that are read from now on, some milliseconds late.
+    /// Changes the network conditions for datagrams that are read from now on; takes effect some milliseconds later.
     pub fn change(&self, change: impl FnOnce(&mut Weather) + Send + 'static) {
-        self.notify(Box::new(|carrier| change(&mut carrier.conditions)));
+        self.queue(Box::new(|proxy| change(&mut proxy.conditions)));
     }
 
-    /// A front is reached here, as it says itself: one that waits to be found sends nothing at first.
-    pub fn home(&self, front: usize, home: SocketAddr) {
-        self.notify(Box::new(move |carrier| carrier.homes[front] = Some(home)));
+    /// Sets a front's own address, as the front reports it. Why: a front without seeds sends nothing by which it could be
+    /// learned.
+    pub fn home(&self, front: usize, address: SocketAddr) {
+        self.queue(Box::new(move |proxy| {
+            proxy.front_addresses[front] = Some(address);
+        }));
     }
 
     /// Datagrams and bytes that a front sent.
+    #[must_use]
     pub fn sent(&self, front: usize) -> (u64, u64) {
-        self.sent.get(front).map_or((0, 0), |(n, bytes)| {
-            (n.load(Ordering::Relaxed), bytes.load(Ordering::Relaxed))
+        self.sent.get(front).map_or((0, 0), |counts| {
+            let datagrams = counts.datagrams.load(Ordering::Relaxed);
+            (datagrams, counts.bytes.load(Ordering::Relaxed))
         })
     }
 }
 
-/// From, to, what.
-type Datagram = (usize, usize, Vec<u8>);
+/// Opens a socket for every ordered pair of different fronts and registers it under its index.
+fn open_sockets(size: usize, poll: &OwnedFd) -> io::Result<Sockets> {
+    let mut sockets = Sockets::new();
+    for index in 0..size * size {
+        let (from, to) = (index / size, index % size);
+        if from == to {
+            sockets.push(None);
+            continue;
+        }
+        let socket = UdpSocket::bind("127.0.0.1:0")?;
+        socket.set_nonblocking(true)?;
+        let data = EventData::new_u64(index as u64);
+        epoll::add(poll, &socket, data, EventFlags::IN)?;
+        sockets.push(Some(socket));
+    }
+    Ok(sockets)
+}
+
+/// A datagram on its way. Ordered by arrival, then by the order of reading.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Datagram {
+    arrives_at: u64,
+    number: u64,
+    from: usize,
+    to: usize,
+    bytes: Vec<u8>,
+}
 
-struct Carrier {
+struct Proxy {
     size: usize,
     sockets: Sockets,
     poll: OwnedFd,
-    homes: Vec<Option<SocketAddr>>,
+    /// The fronts' own addresses, as far as known.
+    front_addresses: Vec<Option<SocketAddr>>,
     conditions: Weather,
     rng: oorandom::Rand64,
-    under_way: BinaryHeap<Reverse<(u64, u64, Datagram)>>,
-    count: u64,
-    sent: Arc<Vec<(AtomicU64, AtomicU64)>>,
+    in_transit: BinaryHeap<Reverse<Datagram>>,
+    datagram_count: u64,
+    sent: Arc<Vec<SentCounts>>,
 }
 
-impl Carrier {
-    /// Waits until something is there or due, for [`LOOK`] at most, and carries it on.
+impl Proxy {
+    /// Runs until no handle is left.
+    fn run(mut self, changes: &Weak<Changes>) {
+        while let Some(changes) = changes.upgrade() {
+            let queued =
+                std::mem::take(&mut *changes.lock().unwrap_or_else(PoisonError::into_inner));
+            for change in queued {
+                change(&mut self);
+            }
+            if let Err(e) = self.step() {
+                // Without the network no front receives another, and the claims of the case fail.
+                return eprintln!("the net between fronts has ended: {e}");
+            }
+        }
+    }
+
+    /// Waits until a datagram can be read or delivered, for [`MAX_WAIT`] at most, and handles it.
     fn step(&mut self) -> io::Result<()> {
-        let due = self
-            .under_way
-            .peek()
-            .map_or(u64::MAX, |Reverse((at, ..))| *at);
-        let wait = due.saturating_sub(clock::now()).min(LOOK);
+        let next = self.in_transit.peek();
+        let due = next.map_or(u64::MAX, |Reverse(datagram)| datagram.arrives_at);
+        let wait = due.saturating_sub(clock::now()).min(MAX_WAIT);
+        for index in self.wait_for_events(wait)? {
+            self.read(index);
+        }
+        self.deliver_due();
+        Ok(())
+    }
+
+    /// Waits for so many nanoseconds at most; the indexes of the sockets that can be read.
+    fn wait_for_events(&self, wait: u64) -> io::Result<Vec<usize>> {
         let mut events = Vec::with_capacity(BATCH);
         let timeout = Timespec {
             tv_sec: 0,
             tv_nsec: wait as _,
         };
-        match epoll::wait(
-            &self.poll,
-            rustix::buffer::spare_capacity(&mut events),
-            Some(&timeout),
-        ) {
+        let buffer = rustix::buffer::spare_capacity(&mut events);
+        match epoll::wait(&self.poll, buffer, Some(&timeout)) {
             Ok(_) | Err(rustix::io::Errno::INTR) => {}
             Err(e) => return Err(e.into()),
         }
-        for event in events {
-            self.read(event.data.u64() as usize);
+        let indexes = events.iter().map(|event| event.data.u64() as usize);
+        Ok(indexes.collect())
+    }
+
+    /// Reads what has been sent from one front to another. An error is that of an earlier delivery, to a front that does not
+    /// listen, and is ignored.
+    fn read(&mut self, index: usize) {
+        let mut buffer = [0u8; MAX_DATAGRAM];
+        for _ in 0..BATCH {
+            let Some(socket) = &self.sockets[index] else {
+                return;
+            };
+            match socket.recv_from(&mut buffer) {
+                Ok((length, sender)) => self.accept(index, &buffer[..length], sender),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(_) => {}
+            }
         }
+    }
+
+    /// Counts a datagram and schedules its arrivals: none where it is lost, two where it is duplicated.
+    fn accept(&mut self, index: usize, bytes: &[u8], sender: SocketAddr) {
+        let (from, to) = (index / self.size, index % self.size);
+        let counts = &self.sent[from];
+        counts.datagrams.fetch_add(1, Ordering::Relaxed);
+        counts
+            .bytes
+            .fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        self.front_addresses[from] = Some(sender);
         let now = clock::now();
-        while self
-            .under_way
-            .peek()
-            .is_some_and(|Reverse((at, ..))| *at <= now)
-        {
-            let Some(Reverse((_, _, (from, to, bytes)))) = self.under_way.pop() else {
-                break;
-            };
-            self.deliver(from, to, &bytes);
+        let arrivals = self
+            .conditions
+            .arrivals(now, (from, to), bytes.len(), &mut self.rng);
+        for arrives_at in arrivals {
+            self.datagram_count += 1;
+            self.in_transit.push(Reverse(Datagram {
+                arrives_at,
+                number: self.datagram_count,
+                from,
+                to,
+                bytes: bytes.to_vec(),
+            }));
         }
-        Ok(())
     }
 
-    /// Takes all that was sent on a way. That nobody listens where something was delivered says nothing of it.
-    fn read(&mut self, way: usize) {
-        let (from, to, mut bytes) = (way / self.size, way % self.size, [0u8; LONGEST]);
-        let Some(socket) = &self.sockets[way] else {
-            return;
-        };
-        for _ in 0..BATCH {
-            match socket.recv_from(&mut bytes) {
-                Ok((n, home)) => {
-                    self.sent[from].0.fetch_add(1, Ordering::Relaxed);
-                    self.sent[from].1.fetch_add(n as u64, Ordering::Relaxed);
-                    self.homes[from] = Some(home);
-                    for at in self
-                        .conditions
-                        .arrivals(clock::now(), (from, to), n, &mut self.rng)
-                    {
-                        self.count += 1;
-                        self.under_way.push(Reverse((
-                            at,
-                            self.count,
-                            (from, to, bytes[..n].to_vec()),
-                        )));
-                    }
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-                Err(_) => {} // Of an earlier delivery.
+    fn deliver_due(&mut self) {
+        let now = clock::now();
+        while let Some(Reverse(next)) = self.in_transit.peek() {
+            if next.arrives_at > now {
+                return;
+            }
+            if let Some(Reverse(datagram)) = self.in_transit.pop() {
+                self.deliver(&datagram);
             }
         }
     }
 
-    fn deliver(&self, from: usize, to: usize, bytes: &[u8]) {
-        let restored = self
-            .sockets
-            .get(to * self.size + from)
-            .and_then(Option::as_ref);
-        if let (Some(socket), Some(home)) = (restored, self.homes[to]) {
-            let _ = socket.send_to(bytes, home); // What can't go out at once is lost, as on any net.
+    fn deliver(&self, datagram: &Datagram) {
+        let Datagram {
+            from, to, bytes, ..
+        } = datagram;
+        let stand_in = self.sockets.get(to * self.size + from);
+        let socket = stand_in.and_then(Option::as_ref);
+        if let (Some(socket), Some(address)) = (socket, self.front_addresses[*to]) {
+            let _ = socket.send_to(bytes, address); // A datagram that can't be sent at once is lost, as on any network.
         }
     }
 }
