Test bed: model, host faults, processes and records in the field's terms; lint exceptions gone

JSON names of records are unchanged.

Measured: package tests green, clippy clean; cli, benchmark and daemon check with tests.

--- a/crates/testbed/src/disk.rs
+++ b/crates/testbed/src/disk.rs
@@ -1,4 +1,4 @@
-//! A stand-in for a disk: in memory, full or slow when it is told to be.
+//! A stand-in for a disk, in memory, that can be made full or slow.
 use redb::backends::InMemoryBackend;
 use redb::StorageBackend;
 use std::io::{Error, ErrorKind};
@@ -6,15 +6,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// A disk that is full or slow when it is told to be.
+/// A disk that can be made full or slow. Copies share their state.
 #[derive(Clone, Debug)]
 pub struct Poor {
     inner: Arc<InMemoryBackend>,
-    /// Whether it has no room.
+    /// Whether it is full: writes and syncs fail.
     pub full: Arc<AtomicBool>,
-    /// Milliseconds that a sync takes.
+    /// Extra time of a sync, milliseconds.
     pub slow: Arc<AtomicU64>,
-    /// Syncs so far.
+    /// Number of syncs so far.
     pub syncs: Arc<AtomicU64>,
 }
 
@@ -25,7 +25,8 @@
 }
 
 impl Poor {
-    /// A good one.
+    /// An empty disk without faults.
+    #[must_use]
     pub fn new() -> Poor {
         Poor {
             inner: Arc::new(InMemoryBackend::new()),
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -18,7 +18,9 @@
 use crate::player::{Finder, Habits, PlayerPool};
 use crate::process::Process;
 use crate::record::{Record, Recorder, Seen};
-use crate::scenario_runner::{config_of, habits, layout, start_list, BLUR, DRAIN_GRACE};
+use crate::scenario_runner::{
+    config_of, habits, layout, start_list, DRAIN_GRACE, TIMING_TOLERANCE,
+};
 use crate::script::Day;
 use crate::server::Fleet;
 use crate::udp_proxy::{write_key, Mesh};
@@ -248,7 +250,10 @@
     faults.extend(harness.end(&all)?);
     drop(harness);
     let records = stage.recorder.all();
-    let verdict = judge(&Rules::of(&stage.config, DRAIN_GRACE, BLUR), &records);
+    let verdict = judge(
+        &Rules::of(&stage.config, DRAIN_GRACE, TIMING_TOLERANCE),
+        &records,
+    );
     let cost = Cost::of(&records);
     Ok(Outcome {
         played: played?,
--- a/crates/testbed/src/host_faults.rs
+++ b/crates/testbed/src/host_faults.rs
@@ -1,4 +1,4 @@
-//! Hosts whose power goes: the disks and boots of fronts, and servers that come back cold.
+//! Power losses: the disks and boot identifiers of the fronts' hosts, and servers that restart.
 use crate::list_service::{entry, ListService};
 use crate::server::Fleet;
 use crate::udp_proxy::write_key;
@@ -12,28 +12,32 @@
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-/// The warming of servers is added up in steps of so many nanoseconds, for so many at most.
-const STEP: u64 = 10_000_000;
-const STEPS: u64 = 60_000;
+/// Step of the sum over the servers' slow start, nanoseconds.
+const WARM_UP_STEP: u64 = 10_000_000;
+/// Steps of that sum at most.
+const WARM_UP_STEPS: u64 = 60_000;
 
-/// What fronts keep over a power loss, where a case has one.
+/// What fronts persist over a power loss, where a case has one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Memory {
-    /// What they began, settled with the servers, and service returns in order.
+    /// Set-ups in progress, reconciled with the servers; service recovers in order.
     Preserved,
-    /// Nothing; the list is believed as it is told.
+    /// Nothing; the endpoint list is taken as it is.
     Forgotten,
-    /// What they began, and nobody is asked: service returns at once, and what is open counts as run.
+    /// Set-ups in progress, without reconciliation: service recovers at once, and open set-ups count as run.
     Trusted,
 }
 
+/// The hosts of a case with power losses. Fronts are numbered from 0.
 pub(crate) struct Hosts {
     dir: PathBuf,
     key: PathBuf,
     memory: Memory,
     seed: u64,
+    /// Number of boots of each front's host.
     boots: Vec<u32>,
-    warming_up: usize, // Servers whose power went.
+    /// Number of servers that lost power.
+    restarted_servers: usize,
 }
 
 impl Hosts {
@@ -44,140 +48,154 @@
             memory,
             seed,
             boots: vec![0; fronts],
-            warming_up: 0,
+            restarted_servers: 0,
         };
-        for i in 0..fronts {
-            // What an earlier play left: with the same seed players come with the same keys, which are spent there.
-            for folder in [hosts.store(i), hosts.copy_dir(i)]
-                .into_iter()
-                .filter(|folder| folder.exists())
-            {
-                fs::remove_dir_all(folder)?;
-            }
-            hosts.boot(i)?;
+        for front in 0..fronts {
+            // Why: with the same seed players use the same idempotency keys, which a store of an earlier run has spent.
+            remove_if_exists(&hosts.store(front))?;
+            remove_if_exists(&hosts.copy_dir(front))?;
+            hosts.write_boot_file(front)?;
         }
         Ok(hosts)
     }
 
-    fn boot(&self, i: usize) -> io::Result<()> {
-        fs::write(
-            self.dir.join(format!("boot-{i}")),
-            format!("{} of host {i}", self.boots[i]),
-        )
+    fn boot_file(&self, front: usize) -> PathBuf {
+        self.dir.join(format!("boot-{front}"))
+    }
+
+    /// Writes the boot identifier by which a front finds that its host restarted.
+    fn write_boot_file(&self, front: usize) -> io::Result<()> {
+        let boot = self.boots[front];
+        fs::write(self.boot_file(front), format!("{boot} of host {front}"))
     }
 
-    fn store(&self, i: usize) -> PathBuf {
-        self.dir.join(format!("store-{i}"))
+    fn store(&self, front: usize) -> PathBuf {
+        self.dir.join(format!("store-{front}"))
     }
 
-    fn copy_dir(&self, i: usize) -> PathBuf {
-        self.dir.join(format!("store-{i}-copied"))
+    fn copy_dir(&self, front: usize) -> PathBuf {
+        self.dir.join(format!("store-{front}-copied"))
     }
 
-    /// A front's store, as its configuration has it.
-    pub(crate) fn block(&self, i: usize) -> String {
-        let at_once = "settle: \"1us\" calm: \"1us\" paid_first: \"1us\"";
+    /// The store's block of a front's configuration.
+    pub(crate) fn block(&self, front: usize) -> String {
         let steps = match self.memory {
             Memory::Forgotten => return String::new(),
             Memory::Preserved => "",
-            Memory::Trusted => at_once,
+            Memory::Trusted => "settle: \"1us\" calm: \"1us\" paid_first: \"1us\"",
         };
-        let (dir, key, boot) = (self.store(i), &self.key, self.dir.join(format!("boot-{i}")));
+        let dir = self.store(front);
+        let key = &self.key;
+        let boot = self.boot_file(front);
         format!(
-            "store {{ name: \"front-{i}\" dir: {dir:?} key_file: {key:?} boot_file: {boot:?} {steps} }}\n"
+            "store {{ name: \"front-{front}\" dir: {dir:?} key_file: {key:?} boot_file: {boot:?} {steps} }}\n"
         )
     }
 
-    /// The power of these fronts goes.
+    /// The power of these fronts' hosts fails.
     pub(crate) fn off(&mut self, fronts: &[usize]) -> io::Result<()> {
-        fronts.iter().try_for_each(|i| {
-            self.boots[*i] += 1;
-            self.boot(*i)
-        })
+        for front in fronts.iter().copied() {
+            self.boots[front] += 1;
+            self.write_boot_file(front)?;
+        }
+        Ok(())
     }
 
+    /// The power of these servers fails.
     pub(crate) fn servers_off(&mut self, fleet: &Fleet, servers: &[usize]) {
-        servers.iter().for_each(|id| fleet.crash(*id as u32));
-        self.warming_up += servers.len();
+        for server in servers {
+            fleet.crash(*server as u32);
+        }
+        self.restarted_servers += servers.len();
     }
 
-    /// They start, cold, and the list service hears of it in its own time.
+    /// The servers start, in slow start, and the list service has them after its delay.
     pub(crate) fn servers_on(
         &self,
         fleet: &Arc<Fleet>,
         list: &ListService,
         servers: &[usize],
     ) -> io::Result<()> {
-        for id in servers.iter().map(|id| *id as u32) {
+        for server in servers {
+            let id = *server as u32;
             fleet.restart(id)?;
-            let started = SystemTime::now()
-                .duration_since(UNIX_EPOCH)
-                .unwrap_or_default()
-                .as_millis() as u64;
-            let address = fleet.servers[id as usize].address;
-            list.change(entry(
-                &fleet.config,
-                id,
-                address,
-                EndpointState::Ready,
-                started,
-            ));
+            let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+            let started_ms = since_epoch.unwrap_or_default().as_millis() as u64;
+            let address = fleet.servers[*server].address;
+            let state = EndpointState::Ready;
+            list.change(entry(&fleet.config, id, address, state, started_ms));
         }
         Ok(())
     }
 
-    /// Copies disks as they are now.
+    /// Copies the fronts' disks as they are now.
     pub(crate) fn copy(&self, fronts: &[usize]) -> io::Result<()> {
-        fronts
-            .iter()
-            .try_for_each(|i| replace(&self.store(*i), &self.copy_dir(*i)))
+        for front in fronts.iter().copied() {
+            replace_dir(&self.store(front), &self.copy_dir(front))?;
+        }
+        Ok(())
     }
 
+    /// Changes the fronts' disks to what is found after the power loss.
     pub(crate) fn spoil(&self, fronts: &[usize], spoil: Spoil) -> io::Result<()> {
-        for i in fronts {
-            let (store, file) = (self.store(*i), self.store(*i).join("front.redb"));
+        for front in fronts.iter().copied() {
+            let store = self.store(front);
             if !store.exists() {
-                continue; // It keeps nothing.
+                continue; // The front persists nothing.
             }
             match spoil {
                 Spoil::Intact => {}
                 Spoil::Empty => fs::remove_dir_all(&store)?,
-                Spoil::Old => replace(&self.copy_dir(*i), &store)?,
-                Spoil::Torn => {
-                    let full_bytes = fs::read(&file)?;
-                    let at =
-                        (jitter(self.seed ^ (*i as u64) << 20) * full_bytes.len() as f64) as usize;
-                    fs::write(&file, &full_bytes[..at])?;
-                }
+                Spoil::Old => replace_dir(&self.copy_dir(front), &store)?,
+                Spoil::Torn => self.truncate_store(front)?,
             }
         }
         Ok(())
     }
 
-    /// How long after their start the servers whose power went could have taken so many sessions, each pushed to the brink of its
-    /// falling over at each moment: what no front can better. Those whose power stayed take all at once.
+    /// Cuts the file of a front's store at a random length.
+    fn truncate_store(&self, front: usize) -> io::Result<()> {
+        let file = self.store(front).join("front.redb");
+        let bytes = fs::read(&file)?;
+        let draw = jitter(self.seed ^ (front as u64) << 20);
+        let length = (draw * bytes.len() as f64) as usize;
+        fs::write(&file, &bytes[..length])
+    }
+
+    /// How long after their restart the servers that lost power could have accepted so many sessions, each server at every
+    /// moment just below its overload: a lower bound for any front. Servers that kept power accept all at once.
     pub(crate) fn warming(&self, config: &Config, sessions: f64) -> Option<u64> {
-        let s = &config.settings;
-        let rate = f64::from(*s.stream_capacity.first()?) / s.slow_start_duration as f64
-            * s.overload_multiple;
-        let mut taken = 0.0;
-        for step in 0..STEPS {
-            if taken >= sessions {
-                return Some(step * STEP);
+        let settings = &config.settings;
+        let duration = settings.slow_start_duration as f64;
+        let min_factor = settings.slow_start_min_factor;
+        let full_rate = f64::from(*settings.stream_capacity.first()?) / duration;
+        let highest_rate = full_rate * settings.overload_multiple;
+        let mut accepted = 0.0;
+        for step in 0..WARM_UP_STEPS {
+            if accepted >= sessions {
+                return Some(step * WARM_UP_STEP);
             }
-            let age = (step * STEP) as f64 / s.slow_start_duration as f64;
-            let warm_up_progress =
-                (s.slow_start_min_factor + (1.0 - s.slow_start_min_factor) * age).min(1.0);
-            taken += self.warming_up as f64 * rate * warm_up_progress * STEP as f64;
+            let age = (step * WARM_UP_STEP) as f64 / duration;
+            let warm_up_progress = (min_factor + (1.0 - min_factor) * age).min(1.0);
+            accepted += self.restarted_servers as f64
+                * highest_rate
+                * warm_up_progress
+                * WARM_UP_STEP as f64;
         }
         None
     }
 }
 
-fn replace(from: &Path, to: &Path) -> io::Result<()> {
-    if to.exists() {
-        fs::remove_dir_all(to)?;
+fn remove_if_exists(dir: &Path) -> io::Result<()> {
+    if dir.exists() {
+        fs::remove_dir_all(dir)?;
     }
+    Ok(())
+}
+
+/// Makes `to` a copy of the directory `from`.
+fn replace_dir(from: &Path, to: &Path) -> io::Result<()> {
+    remove_if_exists(to)?;
     fs::create_dir_all(to)?;
     for file in fs::read_dir(from)? {
         let file = file?;
--- a/crates/testbed/src/invariant_checker/at_most_once.rs
+++ b/crates/testbed/src/invariant_checker/at_most_once.rs
@@ -124,7 +124,7 @@
         // Why: a front may see the end of a connection before the stand-in records it, or may have closed it itself
         // and the stand-in reads that later; both stay within the tolerance.
         let disconnected = matches!(reply, Reply::Left | Reply::Reset);
-        if !disconnected || at - since > self.evidence.rules.blur {
+        if !disconnected || at - since > self.evidence.rules.tolerance {
             let what = format!("attempts {first} and {second} were out together");
             self.breach(since, what);
         }
--- a/crates/testbed/src/invariant_checker/drain.rs
+++ b/crates/testbed/src/invariant_checker/drain.rs
@@ -36,7 +36,7 @@
                 let Some(since) = unready_since.get(&(front.as_str(), *server)) else {
                     continue;
                 };
-                if *at > last_allowed(evidence, front, *since) + evidence.rules.blur {
+                if *at > last_allowed(evidence, front, *since) + evidence.rules.tolerance {
                     let late = (at - since) / MILLISECOND;
                     let what = format!(
                         "session {name} was sent to server {server} {late} ms after its drain"
--- a/crates/testbed/src/invariant_checker/evidence.rs
+++ b/crates/testbed/src/invariant_checker/evidence.rs
@@ -104,7 +104,7 @@
             });
         } else if let Some(last) = stalls.last_mut() {
             // Why: a resumed front first reads what arrived in the meantime.
-            last.until = at + self.rules.blur;
+            last.until = at + self.rules.tolerance;
         }
     }
 
--- a/crates/testbed/src/invariant_checker/mod.rs
+++ b/crates/testbed/src/invariant_checker/mod.rs
@@ -1,7 +1,7 @@
 //! The six rules of a front, checked against what passed on the sockets and never against a front's own reports.
 //!
 //! Each rule has a module of its own. A stand-in takes the time where it reads, so a record can be later than its
-//! event by [`Rules::blur`] at most. A front whose process was stopped is excused for late actions, not for wrong ones.
+//! event by [`Rules::tolerance`] at most. A front whose process was stopped is excused for late actions, not for wrong ones.
 mod at_most_once;
 mod class_limits;
 mod drain;
--- a/crates/testbed/src/invariant_checker/rules.rs
+++ b/crates/testbed/src/invariant_checker/rules.rs
@@ -38,18 +38,18 @@
     /// Part of the full rate that a server can take at the beginning of its slow start.
     pub slow_start_min_factor: f64,
     /// A server in slow start is overloaded when it gets more than this multiple of its present rate ...
-    pub fall_multiple: f64,
+    pub overload_multiple: f64,
     /// ... within this time.
-    pub fall: u64,
+    pub overload_window: u64,
     /// The budget for retries; `None` where there is no limit.
     pub retry: Option<RetryBudget>,
     /// Tolerance for clocks and scheduling: a record may be this much later than the event.
-    pub blur: u64,
+    pub tolerance: u64,
 }
 
 impl Rules {
     /// The limits that a configuration states. The drain grace is chosen by whoever operates the stand-ins.
-    pub fn of(config: &Config, drain_grace: u64, blur: u64) -> Rules {
+    pub fn of(config: &Config, drain_grace: u64, tolerance: u64) -> Rules {
         let settings = &config.settings;
         let class_rule = |(name, class): (&String, &crankpaddle::Class)| ClassRule {
             name: name.clone(),
@@ -68,10 +68,10 @@
             drain_grace,
             slow_start_duration: settings.slow_start_duration,
             slow_start_min_factor: settings.slow_start_min_factor,
-            fall_multiple: settings.overload_multiple,
-            fall: settings.overload_window,
+            overload_multiple: settings.overload_multiple,
+            overload_window: settings.overload_window,
             retry,
-            blur,
+            tolerance,
         }
     }
 }
--- a/crates/testbed/src/invariant_checker/single_answer.rs
+++ b/crates/testbed/src/invariant_checker/single_answer.rs
@@ -79,18 +79,18 @@
 
 /// Time and description of the call's breach, if it has one.
 fn breach_of(evidence: &Evidence<'_>, id: u64, call: &Call) -> Option<(u64, String)> {
-    let blur = evidence.rules.blur;
+    let tolerance = evidence.rules.tolerance;
     match &call.answers[..] {
         [] => {
             // Why: a killed front has no pending answers; a call may be recorded just after the kill that it met.
-            let earliest_death = call.sent_at.saturating_sub(blur);
+            let earliest_death = call.sent_at.saturating_sub(tolerance);
             let excused =
                 call.disconnected || evidence.died(call.front, earliest_death, call.deadline);
             (!excused).then(|| (call.deadline, format!("call {id} was never answered")))
         }
         [answer] => {
             let excused = evidence.was_stalled(call.front, call.sent_at, call.deadline);
-            if answer.at <= call.deadline + blur || excused {
+            if answer.at <= call.deadline + tolerance || excused {
                 return None;
             }
             let late = (answer.at - call.deadline) / MILLISECOND;
--- a/crates/testbed/src/invariant_checker/slow_start.rs
+++ b/crates/testbed/src/invariant_checker/slow_start.rs
@@ -81,7 +81,7 @@
         }
         let sent = self.recent_set_ups.entry(server).or_default();
         sent.push(SentSetUp { at, front });
-        sent.retain(|set_up| at - set_up.at < rules.fall);
+        sent.retain(|set_up| at - set_up.at < rules.overload_window);
         let count = sent.len();
         let allowed = allowed_set_ups(rules, start.places, age);
         let informed_count = sent
@@ -103,5 +103,5 @@
     let warm_up_progress =
         rules.slow_start_min_factor + (1.0 - rules.slow_start_min_factor) * elapsed_part;
     let rate = places / rules.slow_start_duration as f64 * warm_up_progress;
-    rules.fall_multiple * rate * rules.fall as f64 + 1.0
+    rules.overload_multiple * rate * rules.overload_window as f64 + 1.0
 }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,17 +1,19 @@
-//! The laboratory: stand-ins of all that surrounds a front, scripted days of trouble, and the judge of the rules.
+//! The test bed: stand-ins of everything that surrounds a front, scripted days of faults, and the invariant checker.
 //!
 //! - [`script`]: days as files, checked with line and column;
-//! - [`model`]: links, uplinks, set-up work, warmth and falling over, pure;
+//! - [`model`]: links, uplinks, set-up work, slow start and overload, without I/O;
 //! - [`server`], [`list_service`], [`player`]: stand-ins on loopback sockets, which record what passes;
-//! - [`record`]: what was seen on the sockets, and when;
+//! - [`record`]: the records;
 //! - [`invariant_checker`]: the six rules, judged from records alone;
+//! - [`crossing`]: traffic between zones and utility, from records;
 //! - [`process`]: fronts as processes;
 //! - [`scenario_runner`]: plays a script against front processes;
-//! - [`udp_proxy`], [`membership_poll`], [`fleet`]: plays a case of a fleet whose fronts know each other, with faults between every ordered pair;
+//! - [`udp_proxy`], [`membership_poll`], [`fleet`]: plays a case of a fleet whose fronts know each other, with network
+//!   faults between every ordered pair;
+//! - [`disk`]: a disk that fails on request;
 //! - [`import`]: scripts from the bench's day files.
 //!
 //! All figures that come out of it are from simulated servers.
-#![allow(clippy::missing_panics_doc, clippy::too_many_lines)] // What cannot hold yet; the list is in docs/ROADMAP.md.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 pub mod crossing;
--- a/crates/testbed/src/loss_analysis.rs
+++ b/crates/testbed/src/loss_analysis.rs
@@ -1,49 +1,51 @@
-//! Who lost what he watched when the power went, and who has it again.
+//! Which viewers lost their session in a power loss, and which of them watch again.
 use std::collections::BTreeMap;
 
-/// Viewers by the number of their visit, each with his class.
+/// Viewers by the seed of their visit, each with the class.
 #[derive(Debug, Default)]
 pub(crate) struct Losses {
-    went: bool,
-    lost: BTreeMap<u64, u8>,
-    again: BTreeMap<u64, u8>,
+    power_lost: bool,
+    without_session: BTreeMap<u64, u8>,
+    watching_again: BTreeMap<u64, u8>,
     left: BTreeMap<u64, u8>,
 }
 
 impl Losses {
-    /// Power goes: who can't watch on from here on has lost it.
+    /// Marks the power loss: a viewer that is cut off from now on counts.
     pub(crate) fn power_went(&mut self) {
-        self.went = true;
+        self.power_lost = true;
     }
 
-    /// A viewer watches.
+    /// A viewer's session plays.
     pub(crate) fn watches(&mut self, visit: u64, class: u8) {
-        if self.lost.remove(&visit).is_some() {
-            self.again.insert(visit, class);
+        if self.without_session.remove(&visit).is_some() {
+            self.watching_again.insert(visit, class);
         }
     }
 
-    /// A viewer can't watch on though he wants to.
+    /// A viewer's session breaks off.
     pub(crate) fn is_cut_off(&mut self, visit: u64, class: u8) {
-        if self.went {
-            self.again.remove(&visit);
-            self.lost.insert(visit, class);
+        if self.power_lost {
+            self.watching_again.remove(&visit);
+            self.without_session.insert(visit, class);
         }
     }
 
     /// A viewer leaves.
     pub(crate) fn leaves(&mut self, visit: u64) {
-        if let Some(class) = self.lost.remove(&visit) {
+        if let Some(class) = self.without_session.remove(&visit) {
             self.left.insert(visit, class);
         }
     }
 
-    /// Of those in such a class who lost it: how many watch again, how many left without, and how many there are.
+    /// Of the viewers in such a class that lost their session: how many watch again, how many left without, and how many
+    /// there are.
     pub(crate) fn count(&self, of: impl Fn(u8) -> bool) -> (u64, u64, u64) {
         let count =
             |all: &BTreeMap<u64, u8>| all.values().filter(|class| of(**class)).count() as u64;
-        let (again, left) = (count(&self.again), count(&self.left));
-        (again, left, again + left + count(&self.lost))
+        let again = count(&self.watching_again);
+        let left = count(&self.left);
+        (again, left, again + left + count(&self.without_session))
     }
 }
 
--- a/crates/testbed/src/model.rs
+++ b/crates/testbed/src/model.rs
@@ -1,8 +1,8 @@
-//! Links, uplinks, set-up work, warmth and falling over of a fleet, without sockets or clock.
+//! A model of a fleet's links, uplinks, set-up work, slow start and overload, without sockets or a clock.
 //!
-//! Where more is asked of a link or a rack's uplink than it gives, all sessions there get the same share of their
-//! rates. A started server takes set-ups at a pace that rises from a part of it to the whole; sent a multiple of that
-//! for a time, it falls over. Figures that come out of this are a model's.
+//! Where the demand of a link or of a rack's uplink exceeds its bandwidth, all sessions on it get the same share of their
+//! rates. A restarted server accepts set-ups at a rate that rises from a part of its full rate; a multiple of that within
+//! a time overloads it. Figures that come out of this are a model's.
 use std::collections::{BTreeMap, VecDeque};
 
 /// What holds for all servers. Times in nanoseconds, rates in kB a second.
@@ -10,19 +10,19 @@
 pub struct Spec {
     /// Cores of a server.
     pub cores: usize,
-    /// Work of a set-up on a warm core.
+    /// Processor time of a set-up after the slow start.
     pub work: u64,
-    /// Streams at most.
+    /// Streams that a server runs at most.
     pub places: u32,
-    /// Warm after this time ...
+    /// Length of the slow start after a restart.
     pub slow_start_duration: u64,
-    /// ... from this part.
+    /// Part of its full rate that a server has at the beginning of its slow start.
     pub slow_start_min_factor: f64,
-    /// Falls when sent more than this multiple of its pace ...
-    pub fall_multiple: f64,
-    /// ... for this time.
-    pub fall: u64,
-    /// Turns set-ups away while so much of its link is asked; 0: never.
+    /// A server in slow start is overloaded by more than this multiple of its present rate ...
+    pub overload_multiple: f64,
+    /// ... within this time.
+    pub overload_window: u64,
+    /// Link demand from which a server rejects set-ups; 0: it never does for this reason.
     pub guard: f64,
 }
 
@@ -31,22 +31,26 @@
 pub struct Server {
     /// Its rack.
     pub rack: usize,
-    /// What its link gives.
+    /// Bandwidth of its link.
     pub link_kb: f64,
-    started: u64, // 0: long past.
-    busy: Vec<u64>,
+    /// When it was started; 0: long ago.
+    started: u64,
+    /// For each core the time until which it is busy.
+    busy_until: Vec<u64>,
+    /// Rates of the streams.
     streams: BTreeMap<u64, f64>,
-    arrivals: VecDeque<u64>,
+    /// Set-ups during the slow start within the overload window.
+    recent_set_ups: VecDeque<u64>,
 }
 
-/// What comes of a set-up.
+/// The result of a set-up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Taken {
-    /// It is done at this time.
+    /// Accepted; the work is done at this time.
     DoneAt(u64),
-    /// No place or no link is left: turned away unseen.
+    /// Rejected for lack of capacity: it never ran.
     Full,
-    /// It was too much for a cold server.
+    /// The server was overloaded during its slow start and stops.
     Falls,
 }
 
@@ -57,34 +61,37 @@
     /// Servers by number.
     pub servers: Vec<Server>,
     uplinks_kb: Vec<f64>,
-    slow: f64,
+    /// What all bandwidths are divided by.
+    slowdown: f64,
 }
 
 impl Model {
-    /// A warm fleet; `links` gives each server's rack and link.
+    /// A fleet after its slow start; `links` has each server's rack and link.
+    #[must_use]
     pub fn new(spec: Spec, links: &[(usize, f64)], uplinks_kb: Vec<f64>) -> Model {
         let server = |(rack, link_kb): &(usize, f64)| Server {
             rack: *rack,
             link_kb: *link_kb,
             started: 0,
-            busy: vec![0; spec.cores.max(1)],
+            busy_until: vec![0; spec.cores.max(1)],
             streams: BTreeMap::new(),
-            arrivals: VecDeque::new(),
+            recent_set_ups: VecDeque::new(),
         };
         Model {
             servers: links.iter().map(server).collect(),
             uplinks_kb,
             spec,
-            slow: 1.0,
+            slowdown: 1.0,
         }
     }
 
-    /// Every link gives this many times less from now on; 1: as it was.
+    /// Divides every bandwidth by `times` from now on; 1: the usual bandwidth.
     pub fn set_slow(&mut self, times: f64) {
-        self.slow = times.max(1e-3);
+        self.slowdown = times.max(1e-3);
     }
 
-    /// Part of its pace that a server has reached.
+    /// Part of its full rate that a server has reached.
+    #[must_use]
     pub fn warm_up_progress(&self, server: usize, now: u64) -> f64 {
         let started = self.servers[server].started;
         let age = now.saturating_sub(started) as f64 / self.spec.slow_start_duration.max(1) as f64;
@@ -94,69 +101,75 @@
         self.spec.slow_start_min_factor + (1.0 - self.spec.slow_start_min_factor) * age
     }
 
-    /// A server starts anew, cold and empty.
+    /// Restarts a server: it is empty and in slow start.
     pub fn start(&mut self, server: usize, now: u64) {
-        let s = &mut self.servers[server];
-        s.started = now;
-        s.busy.fill(0);
-        s.streams.clear();
-        s.arrivals.clear();
+        let server = &mut self.servers[server];
+        server.started = now;
+        server.busy_until.fill(0);
+        server.streams.clear();
+        server.recent_set_ups.clear();
     }
 
-    /// A set-up arrives; it holds a place from now on until [`Model::end`], unless it is turned away.
+    /// Sets a stream up at a server. If accepted, it takes capacity until [`Model::end`].
+    ///
+    /// # Panics
+    /// There is no server of this number.
     pub fn set_up(&mut self, server: usize, stream: u64, kb: f64, now: u64) -> Taken {
-        let (warmth, asked) = (self.warm_up_progress(server, now), self.link_demand(server));
+        let warm_up_progress = self.warm_up_progress(server, now);
+        let link_demand = self.link_demand(server);
         let spec = &self.spec;
-        let s = &mut self.servers[server];
-        if s.started != 0 && now < s.started + spec.slow_start_duration {
-            s.arrivals.push_back(now);
-            s.arrivals.retain(|t| now - t < spec.fall);
-            let rate = f64::from(spec.places) / spec.slow_start_duration as f64 * warmth;
-            if s.arrivals.len() as f64 > spec.fall_multiple * rate * spec.fall as f64 + 1.0 {
-                return Taken::Falls;
-            }
+        let server = &mut self.servers[server];
+        if server.is_overloaded_by_set_up(spec, warm_up_progress, now) {
+            return Taken::Falls;
         }
-        if s.streams.len() >= spec.places as usize || spec.guard > 0.0 && asked >= spec.guard {
+        let no_place = server.streams.len() >= spec.places as usize;
+        let no_bandwidth = spec.guard > 0.0 && link_demand >= spec.guard;
+        if no_place || no_bandwidth {
             return Taken::Full;
         }
-        s.streams.insert(stream, kb);
-        let core = s.busy.iter_mut().min().expect("a server has a core");
-        *core = (*core).max(now) + (spec.work as f64 / warmth) as u64;
+        server.streams.insert(stream, kb);
+        let core = server.busy_until.iter_mut().min();
+        let core = core.expect("a server has a core");
+        *core = (*core).max(now) + (spec.work as f64 / warm_up_progress) as u64;
         Taken::DoneAt(*core)
     }
 
-    /// A session's rate changes.
+    /// Changes the rate of a stream.
     pub fn set_rate(&mut self, server: usize, stream: u64, kb: f64) {
-        self.servers[server]
-            .streams
-            .entry(stream)
-            .and_modify(|rate| *rate = kb);
+        if let Some(rate) = self.servers[server].streams.get_mut(&stream) {
+            *rate = kb;
+        }
     }
 
-    /// A session or set-up is over.
+    /// Ends a stream.
     pub fn end(&mut self, server: usize, stream: u64) {
         self.servers[server].streams.remove(&stream);
     }
 
-    /// Streams that a server runs or sets up.
+    /// Number of streams that a server runs or sets up.
+    #[must_use]
     pub fn streams(&self, server: usize) -> usize {
         self.servers[server].streams.len()
     }
 
-    /// What is asked of a server's link over what it gives.
+    /// Demand of a server's link over its bandwidth.
+    #[must_use]
     pub fn link_demand(&self, server: usize) -> f64 {
-        let s = &self.servers[server];
-        s.streams.values().sum::<f64>() / (s.link_kb / self.slow)
+        let server = &self.servers[server];
+        server.streams.values().sum::<f64>() / (server.link_kb / self.slowdown)
     }
 
-    /// The same of its rack's uplink.
+    /// Demand of the uplink of a server's rack over its bandwidth.
+    #[must_use]
     pub fn uplink_demand(&self, server: usize) -> f64 {
         let rack = self.servers[server].rack;
-        let there = self.servers.iter().filter(|s| s.rack == rack);
-        there.flat_map(|s| s.streams.values()).sum::<f64>() / (self.uplinks_kb[rack] / self.slow)
+        let in_rack = self.servers.iter().filter(|s| s.rack == rack);
+        in_rack.flat_map(|s| s.streams.values()).sum::<f64>()
+            / (self.uplinks_kb[rack] / self.slowdown)
     }
 
-    /// Share of their rates that sessions at a server get.
+    /// Part of their rates that the streams of a server get.
+    #[must_use]
     pub fn share(&self, server: usize) -> f64 {
         1.0 / self
             .link_demand(server)
@@ -165,5 +178,21 @@
     }
 }
 
+impl Server {
+    /// Counts a set-up during the slow start; whether it is one too many.
+    fn is_overloaded_by_set_up(&mut self, spec: &Spec, warm_up_progress: f64, now: u64) -> bool {
+        if self.started == 0 || now >= self.started + spec.slow_start_duration {
+            return false;
+        }
+        self.recent_set_ups.push_back(now);
+        self.recent_set_ups
+            .retain(|at| now - at < spec.overload_window);
+        let full_rate = f64::from(spec.places) / spec.slow_start_duration as f64;
+        let rate = full_rate * warm_up_progress;
+        let allowed = spec.overload_multiple * rate * spec.overload_window as f64 + 1.0;
+        self.recent_set_ups.len() as f64 > allowed
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/testbed/src/model/tests.rs
+++ b/crates/testbed/src/model/tests.rs
@@ -8,8 +8,8 @@
         places: 20,
         slow_start_duration: 10 * SECOND,
         slow_start_min_factor: 0.5,
-        fall_multiple: 2.0,
-        fall: SECOND,
+        overload_multiple: 2.0,
+        overload_window: SECOND,
         guard: 0.0,
     };
     Model::new(
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -1,18 +1,20 @@
-//! Fronts as processes of their own: started, signalled, ended, and none left behind.
+//! Fronts as processes of their own. No process is left behind.
 use rustix::process::{kill_process, Pid, Signal};
 use std::fs::OpenOptions;
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::Path;
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
-/// A front must listen by then.
+/// Time in which a front must listen.
 const START_WITHIN: Duration = Duration::from_secs(20);
-const LOOK: Duration = Duration::from_millis(20);
+/// Interval at which the end of a process is checked.
+const EXIT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// A front's block of a configuration with so many worker threads.
+/// Adds the number of worker threads to the front's block of a configuration.
+#[must_use]
 pub fn with_workers(block: &str, workers: u32) -> String {
     block.replacen("front {\n", &format!("front {{\n  workers: {workers}\n"), 1)
 }
@@ -27,63 +29,46 @@
 }
 
 impl Process {
-    /// Starts `EXE front` with this configuration; it and the log stay in the folder under the name.
+    /// Starts `EXE front` with this configuration, which is written to `dir` under the name, as is the log.
     ///
     /// # Errors
-    /// It does not listen in time; what it said is told.
+    /// It does not listen in time; the error has its output and log.
     pub fn start(exe: &Path, dir: &Path, name: &str, text: &str) -> io::Result<Process> {
-        let (file, log) = (
-            dir.join(format!("{name}.textproto")),
-            dir.join(format!("{name}.log")),
-        );
-        std::fs::write(&file, text)?;
+        let config = dir.join(format!("{name}.textproto"));
+        let log = dir.join(format!("{name}.log"));
+        std::fs::write(&config, text)?;
         let mut child = Command::new(exe)
             .args(["front", "-c"])
-            .arg(&file)
+            .arg(&config)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(OpenOptions::new().create(true).append(true).open(&log)?)
             .spawn()?;
-        let stdout = child.stdout.take();
-        let (said, first) = mpsc::channel();
-        std::thread::spawn(move || {
-            let mut line = String::new();
-            if let Some(stdout) = stdout {
-                let _ = BufReader::new(stdout).read_line(&mut line); // Nothing read is seen below.
-            }
-            let _ = said.send(line);
-        });
-        let line = first.recv_timeout(START_WITHIN).unwrap_or_default();
-        match line
-            .trim()
-            .strip_prefix("listening ")
-            .and_then(|a| a.parse().ok())
-        {
-            Some(address) => Ok(Process {
+        let line = first_line(child.stdout.take());
+        let address = line.trim().strip_prefix("listening ");
+        if let Some(address) = address.and_then(|address| address.parse().ok()) {
+            return Ok(Process {
                 name: name.to_owned(),
                 child,
                 address,
-            }),
-            None => {
-                let _ = child.kill(); // It is reported below whether or not it still ran.
-                let _ = child.wait();
-                let log = std::fs::read_to_string(&log).unwrap_or_default();
-                Err(io::Error::other(format!(
-                    "{name} did not start: {line}{log}"
-                )))
-            }
+            });
         }
+        let _ = child.kill(); // The failure is reported whether or not it still ran.
+        let _ = child.wait();
+        let log = std::fs::read_to_string(&log).unwrap_or_default();
+        let failure = format!("{name} did not start: {line}{log}");
+        Err(io::Error::other(failure))
     }
 
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
         if let Some(pid) = pid {
-            let _ = kill_process(pid, signal); // One that has ended is found when it is waited for.
+            let _ = kill_process(pid, signal); // One that has ended shows when it is waited for.
         }
     }
 
-    /// Ends it at once, without a word.
+    /// Kills it.
     ///
     /// # Errors
     /// It can't be waited for.
@@ -92,13 +77,13 @@
         self.child.wait().map(drop)
     }
 
-    /// Waits for its end; `None` if it had to be killed.
+    /// Waits for its end; `None` if it had to be killed at that time.
     fn wait(&mut self, until: Instant) -> io::Result<Option<ExitStatus>> {
         while Instant::now() < until {
             if let Some(status) = self.child.try_wait()? {
                 return Ok(Some(status));
             }
-            std::thread::sleep(LOOK);
+            std::thread::sleep(EXIT_CHECK_INTERVAL);
         }
         self.child.kill()?;
         self.child.wait()?;
@@ -113,7 +98,8 @@
     }
 }
 
-/// Ends processes in order, all at once, and waits for each; tells of those that ended badly or not in time.
+/// Ends processes gracefully, all at the same time, and waits for each; the faults of those that ended badly or not in
+/// time.
 ///
 /// # Errors
 /// One can't be waited for.
@@ -122,7 +108,9 @@
     within: Duration,
 ) -> io::Result<Vec<String>> {
     let processes: Vec<&mut Process> = processes.collect();
-    processes.iter().for_each(|p| p.signal(Signal::TERM));
+    for process in &processes {
+        process.signal(Signal::TERM);
+    }
     let until = Instant::now() + within;
     let mut faults = Vec::new();
     for process in processes {
@@ -134,3 +122,16 @@
     }
     Ok(faults)
 }
+
+/// The first line of a process's output; empty where none arrives in time.
+fn first_line(output: Option<ChildStdout>) -> String {
+    let (sender, receiver) = mpsc::channel();
+    std::thread::spawn(move || {
+        let mut line = String::new();
+        if let Some(output) = output {
+            let _ = BufReader::new(output).read_line(&mut line); // A failure leaves the line empty.
+        }
+        let _ = sender.send(line);
+    });
+    receiver.recv_timeout(START_WITHIN).unwrap_or_default()
+}
--- a/crates/testbed/src/record.rs
+++ b/crates/testbed/src/record.rs
@@ -1,21 +1,21 @@
-//! What was seen on the sockets, and when.
+//! Records: what passed on the sockets, and when. Their JSON form is that of recordings on disk.
 use crankpaddle_net::clock;
 use serde::{Deserialize, Serialize};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-/// How a set-up was answered by a stand-in server.
+/// How a set-up ended at a stand-in server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Reply {
     /// It plays.
     Plays,
-    /// Turned away unseen, and said so: it never ran.
+    /// Rejected for lack of capacity: it never ran.
     Full,
     /// Failed.
     Error,
-    /// The stand-in broke the connection.
+    /// The stand-in reset the connection.
     Reset,
-    /// The front closed it without an answer.
+    /// The front closed the connection before an answer.
     Left,
 }
 
@@ -25,24 +25,24 @@
 pub enum PlayerReply {
     /// It plays.
     Plays,
-    /// Refused: nothing ran.
+    /// Rejected: nothing ran.
     Refused,
-    /// Failed, perhaps with effect.
+    /// Failed; the set-up may have run.
     Failed,
-    /// Another connection has it.
+    /// Another connection of the player has the session.
     Superseded,
     /// An error of the call itself.
     Error,
 }
 
-/// One thing seen.
+/// One event.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "what", rename_all = "snake_case")]
 pub enum Seen {
-    /// A player's open left for a front.
+    /// A player sent an open request to a front.
     #[serde(rename = "asked")] // As recordings on disk have it.
     OpenSent {
-        /// The call, unique in a day.
+        /// The call, unique in a run.
         call: u64,
         /// Which front, by its number.
         front: u32,
@@ -50,26 +50,27 @@
         bill: String,
         /// Class by number.
         class: u8,
-        /// It gives up at this time.
+        /// The player gives up at this time, nanoseconds.
         #[serde(rename = "gives_up")]
         deadline: u64,
     },
-    /// The player got an answer.
+    /// A player received the answer to a call.
     #[serde(rename = "told")]
     CallAnswered {
         /// The call.
         call: u64,
-        /// Which.
+        /// The answer.
         #[serde(rename = "told")]
         reply: PlayerReply,
     },
-    /// A player's connection broke before its answer (it broke it itself, or the front died): none is owed on it.
+    /// A player's connection closed before the answer to a call (by the player, or because the front died): no answer is due
+    /// on it.
     #[serde(rename = "broke")]
     Disconnected {
         /// The call.
         call: u64,
     },
-    /// A set-up arrived whole at a server.
+    /// A set-up was completely received by a server.
     SetUp {
         /// The session's name there; unique.
         name: String,
@@ -85,7 +86,7 @@
         title: String,
         /// The rung.
         rung: u8,
-        /// The viewer's zone; empty where the front did not tell it.
+        /// The viewer's zone; empty where the front did not state it.
         #[serde(default)]
         zone: String,
     },
@@ -96,16 +97,16 @@
         /// What it is billed under.
         bill: String,
     },
-    /// A server told the front, which had ended it, that this set-up never ran and never will.
+    /// A server reported to the front, which had ended this set-up, that it never ran and never will.
     Disowned {
         /// The session's name.
         name: String,
     },
-    /// A set-up came to its end at the server.
+    /// A set-up ended at the server.
     Replied {
         /// The session's name.
         name: String,
-        /// How.
+        /// How it ended.
         reply: Reply,
     },
     /// A rung was set for a session.
@@ -129,19 +130,19 @@
         /// Bytes.
         bytes: u64,
     },
-    /// A server's process started; zero warm from now.
+    /// A server's process started: its slow start begins.
     Started {
         /// The server.
         server: u32,
         /// Streams that it runs at most.
         places: f64,
     },
-    /// A cold server was sent too much and fell over.
+    /// A server was overloaded during its slow start and stopped.
     Fell {
         /// The server.
         server: u32,
     },
-    /// The list service told a front of a server's state.
+    /// The list service sent a server's state to a front.
     Listed {
         /// The front's name for itself.
         front: String,
@@ -150,12 +151,12 @@
         /// Whether new work may go there.
         ready: bool,
     },
-    /// A front's process was killed: it owes no answer to what it had taken.
+    /// A front's process was killed: no answer is due to the requests it had received.
     Died {
         /// Which front, by its number.
         front: u32,
     },
-    /// A front's process stood still from this time on (`true`), or goes on.
+    /// A front's process is stopped from this time on (`true`), or resumed.
     Stalled {
         /// Which front, by its number.
         front: u32,
@@ -165,38 +166,37 @@
     },
 }
 
-/// Something seen at a time: nanoseconds of the one clock of the laboratory.
+/// An event and its time.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Record {
-    /// When.
+    /// Nanoseconds of the test bed's one clock.
     pub at: u64,
-    /// What.
+    /// The event.
     #[serde(flatten)]
     pub seen: Seen,
 }
 
-/// Collects records from all stand-ins.
+/// Collects the records of all stand-ins. Copies share them.
 #[derive(Clone, Default)]
 pub struct Recorder(Arc<Mutex<Vec<Record>>>);
 
 impl Recorder {
-    /// Adds what is seen now.
+    /// Adds an event with the present time.
     pub fn see(&self, seen: Seen) {
-        let mut all = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        all.push(Record {
-            at: clock::now(),
-            seen,
-        });
+        let mut records = self.lock();
+        let at = clock::now();
+        records.push(Record { at, seen });
     }
 
-    /// All so far, in the order of their times.
+    /// All records so far, in the order of their times.
+    #[must_use]
     pub fn all(&self) -> Vec<Record> {
-        let mut all = self
-            .0
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone();
-        all.sort_by_key(|r| r.at);
-        all
+        let mut records = self.lock().clone();
+        records.sort_by_key(|record| record.at);
+        records
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Record>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/testbed/src/scenario_runner/mod.rs
+++ b/crates/testbed/src/scenario_runner/mod.rs
@@ -37,7 +37,7 @@
 const MILLISECOND: u64 = 1_000_000;
 const SECOND: u64 = 1000 * MILLISECOND;
 /// Tolerance of the rules for scheduling, nanoseconds: stand-ins and players share the cores with the fronts.
-pub const BLUR: u64 = 150 * MILLISECOND;
+pub const TIMING_TOLERANCE: u64 = 150 * MILLISECOND;
 /// Grace of the rules for draining servers, nanoseconds.
 pub const DRAIN_GRACE: u64 = SECOND;
 /// Seconds that a front may take to settle its traffic report.
@@ -161,7 +161,7 @@
     let records = stage.recorder.all();
     let bytes = count_bytes(&records);
     faults.extend(bytes.difference(day));
-    let verdict = judge(&Rules::of(config, DRAIN_GRACE, BLUR), &records);
+    let verdict = judge(&Rules::of(config, DRAIN_GRACE, TIMING_TOLERANCE), &records);
     let crossed = crossed(&records, config);
     Ok(Outcome {
         verdict,
--- a/crates/testbed/src/server/fleet.rs
+++ b/crates/testbed/src/server/fleet.rs
@@ -72,8 +72,8 @@
             places: settings.stream_capacity[0],
             slow_start_duration: settings.slow_start_duration,
             slow_start_min_factor: settings.slow_start_min_factor,
-            fall_multiple: settings.overload_multiple,
-            fall: settings.overload_window,
+            overload_multiple: settings.overload_multiple,
+            overload_window: settings.overload_window,
             guard: settings.server_rejection_threshold,
         };
         let racks = settings.racks as usize;
--- a/crates/testbed/src/setup_log.rs
+++ b/crates/testbed/src/setup_log.rs
@@ -1,40 +1,47 @@
-//! What a stand-in server wrote down of paid sessions; it outlives its process, unless it is made to lose it.
+//! A stand-in server's log of paid set-ups. It survives the process, unless a fault erases it.
 use crankpaddle_server_protocol::session_inventory::{
     CompletedSession, InventorySession, SessionInventory,
 };
 use crankpaddle_server_protocol::sessions::SetUpBody;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// The log of one server.
 #[derive(Debug)]
 pub(crate) struct Ledger {
-    boots: Vec<String>,
-    ran: BTreeMap<String, Vec<CompletedSession>>, // By front.
-    names: BTreeSet<String>, // Of all that ran, to judge by; no server needs them.
+    /// Incarnations that the log covers, the present one last.
+    incarnations: Vec<String>,
+    /// Sessions that ran, by the name of their front.
+    ran: BTreeMap<String, Vec<CompletedSession>>,
+    /// Names of all sessions that ran. Only for the invariant checker; a server would not need them.
+    names: BTreeSet<String>,
 }
 
 impl Ledger {
-    pub(crate) fn new(boot: u64) -> Ledger {
+    pub(crate) fn new(incarnation: u64) -> Ledger {
         Ledger {
-            boots: vec![boot.to_string()],
+            incarnations: vec![incarnation.to_string()],
             ran: BTreeMap::new(),
             names: BTreeSet::new(),
         }
     }
 
-    pub(crate) fn started(&mut self, boot: u64) {
-        self.boots.push(boot.to_string());
+    /// Logs the start of an incarnation.
+    pub(crate) fn started(&mut self, incarnation: u64) {
+        self.incarnations.push(incarnation.to_string());
     }
 
-    /// All is lost but the present life.
+    /// Erases everything but the present incarnation's number.
     pub(crate) fn lose(&mut self) {
         self.ran.clear();
-        self.boots.drain(..self.boots.len() - 1);
+        self.incarnations.drain(..self.incarnations.len() - 1);
     }
 
+    /// Whether the session of this name was billed.
     pub(crate) fn has(&self, name: &str) -> bool {
         self.names.contains(name)
     }
 
+    /// Logs a session that is billed.
     pub(crate) fn ran(&mut self, name: &str, order: &SetUpBody) {
         self.names.insert(name.to_owned());
         let ran = CompletedSession {
@@ -44,18 +51,19 @@
         self.ran.entry(order.front.clone()).or_default().push(ran);
     }
 
+    /// The inventory for one front.
     pub(crate) fn inventory(
         &self,
         front: &str,
         age_ms: u64,
         active: Vec<InventorySession>,
-        under_way: Vec<String>,
+        in_progress: Vec<String>,
     ) -> SessionInventory {
         SessionInventory {
-            boots: self.boots.clone(),
+            boots: self.incarnations.clone(),
             age_ms,
             held: active,
-            under_way,
+            under_way: in_progress,
             ran: self.ran.get(front).cloned().unwrap_or_default(),
         }
     }
--- a/crates/testbed/tests/breaches.rs
+++ b/crates/testbed/tests/breaches.rs
@@ -17,14 +17,14 @@
         drain_grace: SECOND,
         slow_start_duration: 10 * SECOND,
         slow_start_min_factor: 0.5,
-        fall_multiple: 2.0,
-        fall: SECOND,
+        overload_multiple: 2.0,
+        overload_window: SECOND,
         retry: Some(RetryBudget {
             floor: 1.0,
             ratio: 0.0,
             window: 10 * SECOND,
         }),
-        blur: 50 * MS,
+        tolerance: 50 * MS,
     }
 }
 
