--- a/crates/daemon/tests/traffic.rs
+++ b/crates/daemon/tests/traffic.rs
@@ -148,7 +148,8 @@
     let logged = crossed(&harness.recorder.all(), &harness.config);
     let reported = report(harness.daemon.address());
     assert!(logged.bytes.values().sum::<u64>() > 0);
-    for ((from, to, class), bytes) in &logged.bytes {
+    for (crossing, bytes) in &logged.bytes {
+        let (from, to, class) = (&crossing.from, &crossing.to, &crossing.class);
         let is_same = |flow: &&crankpaddle_cross_zone_traffic::report::FlowReport| {
             (&flow.from, &flow.to, &flow.class) == (from, to, class)
         };
--- /dev/null
+++ b/crates/testbed/src/scenario_runner/mod.rs
@@ -0,0 +1,307 @@
+//! Plays a scripted day: fronts as processes of their own, everything else as stand-ins in this process.
+//!
+//! - `stage`: the fronts and stand-ins, and the faults at them;
+//! - `arrivals`: the players that come;
+//! - `timeline`: the run itself;
+//! - `recording`: records on disk.
+mod arrivals;
+mod recording;
+mod stage;
+mod timeline;
+
+use crate::crossing::{crossed, Crossed, FlowKey};
+use crate::invariant_checker::{judge, Rules, Verdict};
+use crate::list_service::{entry, ListService};
+use crate::membership_poll::Views;
+use crate::player::Habits;
+use crate::process::end_all;
+use crate::record::{Record, Recorder, Seen};
+use crate::script::{fleet_config, Day};
+use crate::server::{Fleet, Layout};
+use crate::udp_proxy::{write_key, Mesh};
+pub use arrivals::arrivals;
+use crankpaddle_config::Config;
+use crankpaddle_cross_zone_traffic::report::{merge, TrafficReport};
+use crankpaddle_net::clock;
+use crankpaddle_server_protocol::list::EndpointState;
+use crankpaddle_traffic_report::fetch;
+pub use recording::{read_records, write_records};
+use stage::{Front, Stage};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+const MILLISECOND: u64 = 1_000_000;
+const SECOND: u64 = 1000 * MILLISECOND;
+/// Tolerance of the rules for scheduling, nanoseconds: stand-ins and players share the cores with the fronts.
+pub const TIMING_TOLERANCE: u64 = 150 * MILLISECOND;
+/// Grace of the rules for draining servers, nanoseconds.
+pub const DRAIN_GRACE: u64 = SECOND;
+/// Seconds that a front may take to settle its traffic report.
+const SETTLED_WITHIN_SECONDS: u32 = 15;
+/// Time for one request of a traffic report.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time beyond its configured drain in which a front's process must end.
+const PROCESS_END_GRACE: Duration = Duration::from_secs(5);
+/// Time between two probes of fronts that know each other, as configured.
+const PROBE_INTERVAL: &str = "1s";
+/// Bytes by which the counts of servers and players may always differ.
+const BYTE_TOLERANCE: u64 = 1_000_000;
+
+/// How a day is played.
+#[derive(Clone, Debug)]
+pub struct Play {
+    /// The program that runs a front: called as `EXE front -c FILE`.
+    pub exe: PathBuf,
+    /// Seed of everything that is drawn.
+    pub seed: u64,
+    /// Directory for configurations, cached lists and the fronts' logs.
+    pub dir: PathBuf,
+    /// Worker threads of each front.
+    pub workers: u32,
+    /// Whether the fronts know of each other, over a network without faults.
+    pub peers: bool,
+}
+
+/// What a day showed.
+#[derive(Debug)]
+pub struct Outcome {
+    /// The result of the invariant checker.
+    pub verdict: Verdict,
+    /// All records.
+    pub records: Vec<Record>,
+    /// What went wrong outside the rules: fronts that ended badly, streams left at servers, bytes that differ.
+    pub faults: Vec<String>,
+    /// Media bytes that servers sent and players read.
+    pub bytes: (u64, u64),
+    /// Traffic between zones and utility, by the servers' own records.
+    pub crossed: Crossed,
+    /// The fronts' traffic reports, merged.
+    pub reported: TrafficReport,
+    /// When arrivals began, nanoseconds of the test bed's clock.
+    pub start: u64,
+}
+
+impl Outcome {
+    /// Bytes of each flow: by the servers' own records, and by the fronts' reports.
+    #[must_use]
+    pub fn flows(&self) -> BTreeMap<FlowKey, (u64, u64)> {
+        let mut all: BTreeMap<FlowKey, (u64, u64)> = BTreeMap::new();
+        for (key, bytes) in &self.crossed.bytes {
+            all.entry(key.clone()).or_default().0 += bytes;
+        }
+        for flow in &self.reported.flows {
+            let key = FlowKey {
+                from: flow.from.clone(),
+                to: flow.to.clone(),
+                class: flow.class.clone(),
+            };
+            all.entry(key).or_default().1 += flow.bytes;
+        }
+        all
+    }
+
+    /// Whether no rule was broken and nothing else went wrong.
+    #[must_use]
+    pub fn good(&self) -> bool {
+        self.verdict.breaches.is_empty() && self.faults.is_empty()
+    }
+}
+
+/// The layout of a day's stand-in servers.
+#[must_use]
+pub fn layout(day: &Day, seed: u64) -> Layout {
+    Layout {
+        count: day.servers as usize,
+        cores: day.cores as usize,
+        work: day.work,
+        uneven: day.uneven,
+        segment: day.segment,
+        seed,
+    }
+}
+
+/// How a day's players behave.
+#[must_use]
+pub fn habits(day: &Day) -> Habits {
+    Habits {
+        returns: day.returns,
+        return_after: day.return_after,
+        honour: day.honour,
+        reconnect: day.reconnect,
+        keeps_key: false,
+    }
+}
+
+/// Plays a day to its end. Call on a thread, after [`crankpaddle_net::start`].
+///
+/// # Errors
+/// A front or a stand-in could not be started, or a file not be written.
+pub fn play(day: &Day, play: &Play) -> io::Result<Outcome> {
+    std::fs::create_dir_all(&play.dir)?;
+    let stage = start_stand_ins(day, play.seed)?;
+    let config = &stage.config;
+    let peering = Peering::start(day, play)?;
+    let mut fronts = start_fronts(day, play, &stage, peering.as_ref())?;
+    let start = clock::now();
+    let run_result = timeline::run(day, play, &stage, &fronts);
+    let addresses = fronts.iter().map(|front| &front.process.address);
+    let reported = merge(addresses.filter_map(settled_report));
+    if let Some(peering) = &peering {
+        peering.views.end();
+    }
+    // Why: the fronts are ended before the result of the run is looked at, so that none is left behind.
+    let mut faults = Vec::new();
+    let within = Duration::from_nanos(config.limits.drain) + PROCESS_END_GRACE;
+    faults.extend(end_all(fronts.iter_mut().map(|f| &mut f.process), within)?);
+    faults.extend(run_result?);
+    let records = stage.recorder.all();
+    let bytes = count_bytes(&records);
+    faults.extend(bytes.difference(day));
+    let verdict = judge(&Rules::of(config, DRAIN_GRACE, TIMING_TOLERANCE), &records);
+    let crossed = crossed(&records, config);
+    Ok(Outcome {
+        verdict,
+        records,
+        faults,
+        bytes: (bytes.sent, bytes.read),
+        crossed,
+        reported,
+        start,
+    })
+}
+
+/// Checks the configuration of a day's fleet.
+pub(crate) fn config_of(day: &Day) -> io::Result<Arc<Config>> {
+    let invalid = |problems| io::Error::other(format!("fleet: {problems:?}"));
+    fleet_config(&day.fleet).map(Arc::new).map_err(invalid)
+}
+
+/// Starts servers and list service.
+fn start_stand_ins(day: &Day, seed: u64) -> io::Result<Stage> {
+    let config = config_of(day)?;
+    let recorder = Recorder::default();
+    let fleet = Fleet::start(config.clone(), &layout(day, seed), recorder.clone())?;
+    let list = start_list(&fleet, day.list_delay)?;
+    Ok(Stage {
+        config,
+        fleet,
+        list,
+        recorder,
+        list_delay: day.list_delay,
+    })
+}
+
+/// Starts a list service that has all servers of a fleet as ready.
+pub(crate) fn start_list(fleet: &Fleet, delay: u64) -> io::Result<Arc<ListService>> {
+    let listing = |server: &Arc<crate::server::Server>| {
+        let (id, address) = (server.id, server.address);
+        entry(&fleet.config, id, address, EndpointState::Ready, 0)
+    };
+    let entries = fleet.servers.iter().map(listing).collect();
+    ListService::start(entries, delay, fleet.recorder.clone())
+}
+
+/// The network between fronts that know each other.
+struct Peering {
+    mesh: Mesh,
+    key: PathBuf,
+    views: Views,
+}
+
+impl Peering {
+    /// Starts the network; `None` where the fronts don't know each other.
+    fn start(day: &Day, play: &Play) -> io::Result<Option<Peering>> {
+        if !play.peers {
+            return Ok(None);
+        }
+        let fronts = day.fronts as usize;
+        let mesh = Mesh::start(fronts, play.seed)?;
+        let key = write_key(&play.dir)?;
+        let views = Views::start(fronts, &mesh);
+        Ok(Some(Peering { mesh, key, views }))
+    }
+
+    /// The peers' block of a front's configuration.
+    fn block(&self, front: usize) -> String {
+        self.mesh.block(front, &[0], &self.key, PROBE_INTERVAL)
+    }
+}
+
+fn start_fronts(
+    day: &Day,
+    play: &Play,
+    stage: &Stage,
+    peering: Option<&Peering>,
+) -> io::Result<Vec<Front>> {
+    let mut fronts = Vec::new();
+    for index in 0..day.fronts {
+        let number = index as usize;
+        let peers = peering.map(|p| p.block(number)).unwrap_or_default();
+        let list = &stage.list.address;
+        let front = Front::start(play, index, day, &stage.config, list, &peers)?;
+        if let Some(peering) = peering {
+            peering.views.runs(number, Some(front.process.address));
+        }
+        fronts.push(front);
+    }
+    Ok(fronts)
+}
+
+/// A front's traffic report once all sessions in it are settled, or the last one in time.
+fn settled_report(front: &SocketAddr) -> Option<TrafficReport> {
+    let mut last = None;
+    for _ in 0..SETTLED_WITHIN_SECONDS {
+        let report = fetch(front, REPORT_TIMEOUT).ok()?;
+        let settled = report.unsettled_sessions == 0;
+        last = Some(report);
+        if settled {
+            break;
+        }
+        std::thread::sleep(Duration::from_secs(1));
+    }
+    last
+}
+
+/// Media bytes as both sides counted them.
+struct ByteCounts {
+    sent: u64,
+    read: u64,
+    /// Sessions that players read.
+    watched_sessions: u64,
+}
+
+fn count_bytes(records: &[Record]) -> ByteCounts {
+    let mut counts = ByteCounts {
+        sent: 0,
+        read: 0,
+        watched_sessions: 0,
+    };
+    for record in records {
+        match &record.seen {
+            Seen::Ended { bytes, .. } => counts.sent += bytes,
+            Seen::Fetched { bytes, .. } => {
+                counts.read += bytes;
+                counts.watched_sessions += 1;
+            }
+            _ => {}
+        }
+    }
+    counts
+}
+
+impl ByteCounts {
+    /// The fault where the two counts differ by more than what was in transit.
+    fn difference(&self, day: &Day) -> Option<String> {
+        let (sent, read) = (self.sent, self.read);
+        let mean = read.checked_div(self.watched_sessions).unwrap_or(0);
+        // A session that breaks off leaves at most a segment between the two counts.
+        let segment = day.segment.max(1);
+        let allowed = sent / 50 + mean * segment / day.watch.max(1) * 10;
+        (sent.abs_diff(read) > allowed + BYTE_TOLERANCE)
+            .then(|| format!("servers sent {sent} media bytes and players read {read}"))
+    }
+}
