--- a/crates/testbed/src/player/attempt.rs
+++ b/crates/testbed/src/player/attempt.rs
@@ -24,7 +24,7 @@
         retry_after: Option<u64>,
     },
     /// The player does not return.
-    StaysAway,
+    DoesNotReturn,
     /// The front disconnected before the player knew what became of its session.
     FrontLost,
 }
@@ -88,7 +88,7 @@
                 self.recorder.see(Seen::Disconnected { call });
                 Outcome::FrontLost
             }
-            None => Outcome::StaysAway,
+            None => Outcome::DoesNotReturn,
         }
     }
 
@@ -119,7 +119,7 @@
         client.cut();
         match self.drain_answer(&mut client, call) {
             Some(PlayerReply::Plays) | None => self.recorder.see(Seen::Disconnected { call }),
-            Some(_) => return Err(Outcome::StaysAway),
+            Some(_) => return Err(Outcome::DoesNotReturn),
         }
         Client::connect(&attempt.address, &self.sweeper)
             .map_err(|_| Outcome::MayReturn { retry_after: None })
@@ -170,7 +170,7 @@
             }
             _ => {
                 client.close();
-                Outcome::StaysAway
+                Outcome::DoesNotReturn
             }
         }
     }
--- a/crates/testbed/src/player/mod.rs
+++ b/crates/testbed/src/player/mod.rs
@@ -150,7 +150,7 @@
         let mut returning = false;
         while self.stays(until) {
             let retry_after = match self.attempt_until_answered(visit, until, returning, &mut rng) {
-                Outcome::Watched | Outcome::StaysAway | Outcome::FrontLost => break,
+                Outcome::Watched | Outcome::DoesNotReturn | Outcome::FrontLost => break,
                 Outcome::MayReturn { retry_after } => retry_after,
             };
             if !rng.random_bool(self.habits.returns) {
--- a/crates/testbed/src/player/watch.rs
+++ b/crates/testbed/src/player/watch.rs
@@ -73,7 +73,7 @@
     ) -> Outcome {
         let until = clock::now() + time;
         let Some(location) = MediaLocation::parse(media) else {
-            return Outcome::StaysAway;
+            return Outcome::DoesNotReturn;
         };
         let name = location.session_name.clone();
         let mut reader = MediaReader {
--- a/crates/testbed/src/scenario_runner/mod.rs
+++ b/crates/testbed/src/scenario_runner/mod.rs
@@ -142,7 +142,7 @@
 /// A front or a stand-in could not be started, or a file not be written.
 pub fn play(day: &Day, play: &Play) -> io::Result<Outcome> {
     std::fs::create_dir_all(&play.dir)?;
-    let stage = start_stand_ins(day, play.seed)?;
+    let stage = start_stage(day, play.seed)?;
     let config = &stage.config;
     let peering = Peering::start(day, play)?;
     let mut fronts = start_fronts(day, play, &stage, peering.as_ref())?;
@@ -181,7 +181,7 @@
 }
 
 /// Starts servers and list service.
-fn start_stand_ins(day: &Day, seed: u64) -> io::Result<Stage> {
+fn start_stage(day: &Day, seed: u64) -> io::Result<Stage> {
     let config = config_of(day)?;
     let recorder = Recorder::default();
     let fleet = Fleet::start(config.clone(), &layout(day, seed), recorder.clone())?;
--- a/crates/testbed/src/udp_proxy.rs
+++ b/crates/testbed/src/udp_proxy.rs
@@ -294,8 +294,8 @@
         let Datagram {
             from, to, bytes, ..
         } = datagram;
-        let stand_in = self.sockets.get(to * self.size + from);
-        let socket = stand_in.and_then(Option::as_ref);
+        let pair_socket = self.sockets.get(to * self.size + from);
+        let socket = pair_socket.and_then(Option::as_ref);
         if let (Some(socket), Some(address)) = (socket, self.front_addresses[*to]) {
             let _ = socket.send_to(bytes, address); // A datagram that can't be sent at once is lost, as on any network.
         }
