--- a/crates/cli/src/lab/mod.rs
+++ b/crates/cli/src/lab/mod.rs
@@ -180,7 +180,11 @@
             let day = read_day(&day)?;
             let config = script::fleet_config(&day.fleet).map_err(|p| wrong("fleet", &p))?;
             let verdict = judge(
-                &Rules::of(&config, scenario_runner::DRAIN_GRACE, scenario_runner::TIMING_TOLERANCE),
+                &Rules::of(
+                    &config,
+                    scenario_runner::DRAIN_GRACE,
+                    scenario_runner::TIMING_TOLERANCE,
+                ),
                 &scenario_runner::read_records(&records)?,
             );
             verdict
@@ -476,7 +480,11 @@
         std::thread::sleep(Duration::from_millis(50));
     }
     let verdict = judge(
-        &Rules::of(&config, scenario_runner::DRAIN_GRACE, scenario_runner::TIMING_TOLERANCE),
+        &Rules::of(
+            &config,
+            scenario_runner::DRAIN_GRACE,
+            scenario_runner::TIMING_TOLERANCE,
+        ),
         &recorder.all(),
     );
     verdict
