--- a/crates/cli/src/testbed/judge.rs
+++ b/crates/cli/src/testbed/judge.rs
@@ -4,13 +4,13 @@
 use crankpaddle_config::Config;
 use crankpaddle_testbed::invariant_checker::{self, Breach, Rules, Verdict};
 use crankpaddle_testbed::record::Record;
-use crankpaddle_testbed::scenario_runner::{read_records, BLUR, DRAIN_GRACE};
+use crankpaddle_testbed::scenario_runner::{read_records, DRAIN_GRACE, TIMING_TOLERANCE};
 use std::path::Path;
 use std::process::ExitCode;
 
 /// Checks the records of a scenario against the rules of its fleet.
 pub(super) fn check_records(config: &Config, records: &[Record]) -> Verdict {
-    invariant_checker::judge(&Rules::of(config, DRAIN_GRACE, BLUR), records)
+    invariant_checker::judge(&Rules::of(config, DRAIN_GRACE, TIMING_TOLERANCE), records)
 }
 
 /// The line for a breach of a rule.
--- a/crates/cli/src/testbed/scenario.rs
+++ b/crates/cli/src/testbed/scenario.rs
@@ -90,7 +90,8 @@
         "played {}, refused {}, failed {}; media bytes sent {sent_bytes} read {read_bytes}; simulated servers, loopback",
         verdict.played, verdict.refused, verdict.failed
     );
-    for ((from, to, class), (sent, reported)) in &outcome.flows() {
+    for (flow, (sent, reported)) in &outcome.flows() {
+        let (from, to, class) = (&flow.from, &flow.to, &flow.class);
         let deviation_percent = (*reported as f64 / (*sent).max(1) as f64 - 1.0) * 100.0;
         eprintln!(
             "traffic {from} > {to}, {class}: servers sent {sent}, fronts report {reported} ({deviation_percent:+.2}%)"
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -85,7 +85,7 @@
     /// Whether all claims and rules held and nothing else went wrong.
     #[must_use]
     pub fn good(&self) -> bool {
-        let (kept, all) = self.played.kept();
+        let (kept, all) = self.played.satisfied_claims();
         kept == all && self.verdict.breaches.is_empty() && self.faults.is_empty()
     }
 }
