--- a/crates/benchmark/src/account.rs
+++ b/crates/benchmark/src/account.rs
@@ -15,6 +15,8 @@
 const SERVERS: u32 = 100;
 /// Sessions settled in a step, as the front does.
 const STEP: usize = 512;
+/// Bytes that a session gets in a second.
+const BYTES_A_SECOND: u64 = 200_000;
 /// Mean length of a session, seconds; so part of them ends and as many begin in each.
 const LENGTH: u64 = 60;
 
@@ -60,7 +62,9 @@
         }],
         report_delay: SECOND / 2,
     });
-    (0..SERVERS).for_each(|server| controller.endpoint_listed(server, (server % 2) as u8, true));
+    for server in 0..SERVERS {
+        controller.endpoint_listed(server, (server % 2) as u8, true);
+    }
     controller
 }
 
@@ -85,119 +89,177 @@
     longest_tick: f64,
 }
 
-/// Plays sessions that begin, are counted each second and end; `desk`: the account that hears of them, if there is one.
-fn play(plan: &Plan, mut desk: Option<&mut TrafficController>, first: u64) -> io::Result<Round> {
-    let pid = std::process::id();
-    let mut round = Round::default();
-    let mut sent: BTreeMap<u64, u64> = (first..first + plan.sessions).map(|id| (id, 0)).collect();
-    if let Some(desk) = desk.as_deref_mut() {
-        sent.keys().for_each(|id| {
-            desk.attempt_started(attempt(*id));
-            desk.session_established(*id, START);
-        });
+/// A load of sessions on a given clock, with the account or without it.
+struct Load<'a> {
+    plan: &'a Plan,
+    controller: Option<&'a mut TrafficController>,
+    sent: BTreeMap<u64, u64>, // Bytes by attempt.
+    round: Round,
+}
+
+impl<'a> Load<'a> {
+    fn new(plan: &'a Plan, mut controller: Option<&'a mut TrafficController>) -> Load<'a> {
+        if let Some(controller) = controller.as_deref_mut() {
+            for id in 0..plan.sessions {
+                controller.attempt_started(attempt(id));
+                controller.session_established(id, START);
+            }
+        }
+        Load {
+            plan,
+            controller,
+            sent: (0..plan.sessions).map(|id| (id, 0)).collect(),
+            round: Round::default(),
+        }
+    }
+
+    /// Plays the plan's seconds.
+    fn play(mut self) -> io::Result<Round> {
+        let pid = std::process::id();
+        let before = cpu_seconds(pid)?;
+        for second in 1..=self.plan.seconds {
+            let now = START + second * SECOND;
+            self.send(now);
+            self.replace_oldest(now);
+            self.settle(now);
+            black_box(&self.sent);
+        }
+        self.round.cpu = cpu_seconds(pid)? - before;
+        Ok(self.round)
     }
-    let before = cpu_seconds(pid)?;
-    for second in 1..=plan.seconds {
-        let now = START + second * SECOND;
-        for (id, bytes) in &mut sent {
-            *bytes += 200_000;
-            if let Some(desk) = desk.as_deref_mut() {
-                desk.bytes_counted(*id, *bytes, now);
+
+    /// Each session's server counts the bytes of a second.
+    fn send(&mut self, now: u64) {
+        for (id, bytes) in &mut self.sent {
+            *bytes += BYTES_A_SECOND;
+            if let Some(controller) = self.controller.as_deref_mut() {
+                controller.bytes_counted(*id, *bytes, now);
             }
         }
-        let oldest: Vec<u64> = sent
-            .keys()
-            .take((plan.sessions / LENGTH) as usize)
-            .copied()
-            .collect();
+    }
+
+    /// The oldest sessions end and as many begin.
+    fn replace_oldest(&mut self, now: u64) {
+        let count = (self.plan.sessions / LENGTH) as usize;
+        let oldest: Vec<u64> = self.sent.keys().take(count).copied().collect();
         for id in oldest {
-            let bytes = sent.remove(&id).unwrap_or(0);
-            let next = id + plan.sessions;
-            sent.insert(next, 0);
-            if let Some(desk) = desk.as_deref_mut() {
-                desk.attempt_ended(id, false, now);
-                desk.final_bytes_counted(id, bytes, now);
-                desk.attempt_started(attempt(next));
-                desk.session_established(next, now);
+            let bytes = self.sent.remove(&id).unwrap_or(0);
+            let next = id + self.plan.sessions;
+            self.sent.insert(next, 0);
+            if let Some(controller) = self.controller.as_deref_mut() {
+                controller.attempt_ended(id, false, now);
+                controller.final_bytes_counted(id, bytes, now);
+                controller.attempt_started(attempt(next));
+                controller.session_established(next, now);
             }
         }
-        if let Some(desk) = desk.as_deref_mut() {
+    }
+
+    /// The work of each second: budgets, then settling in steps.
+    fn settle(&mut self, now: u64) {
+        let Some(controller) = self.controller.as_deref_mut() else {
+            return;
+        };
+        let begun = Instant::now();
+        black_box(controller.tick(now));
+        let round = &mut self.round;
+        round.longest_tick = round.longest_tick.max(begun.elapsed().as_secs_f64());
+        let mut is_complete = false;
+        while !is_complete {
             let begun = Instant::now();
-            black_box(desk.tick(now));
-            round.longest_tick = round.longest_tick.max(begun.elapsed().as_secs_f64());
-            loop {
-                let begun = Instant::now();
-                let complete = desk.settle_usage(now, STEP);
-                round.longest_step = round.longest_step.max(begun.elapsed().as_secs_f64());
-                if complete {
-                    break;
-                }
-            }
+            is_complete = controller.settle_usage(now, STEP);
+            round.longest_step = round.longest_step.max(begun.elapsed().as_secs_f64());
+        }
+    }
+}
+
+/// What a pair of rounds showed.
+struct Pair {
+    cpu_without: f64,
+    with: Round,
+}
+
+/// A row of the table: its name and the figure of a pair.
+type Row<'a> = (&'a str, &'a dyn Fn(&Pair) -> f64);
+
+/// Median, least and most.
+struct Spread {
+    median: f64,
+    least: f64,
+    most: f64,
+}
+
+impl Spread {
+    fn of(mut values: Vec<f64>) -> Spread {
+        values.sort_by(f64::total_cmp);
+        Spread {
+            median: values[values.len() / 2],
+            least: values.first().copied().unwrap_or(0.0),
+            most: values.last().copied().unwrap_or(0.0),
         }
-        black_box(&sent);
     }
-    round.cpu = cpu_seconds(pid)? - before;
-    Ok(round)
 }
 
 /// Measures and gives the page's text.
 ///
 /// # Errors
-/// The kernel does not tell of this process.
+/// The kernel does not show this process.
+///
+/// # Panics
+/// The plan has no rounds.
 pub fn run(plan: &Plan) -> io::Result<String> {
-    let mut figures: Vec<(f64, f64, Round)> = Vec::new();
-    let session_seconds = (plan.sessions * plan.seconds) as f64;
+    let pid = std::process::id();
+    let mut pairs = Vec::new();
     let mut memory = 0.0;
-    for n in 0..plan.rounds as u64 {
-        let none = play(plan, None, 0)?;
-        let resident_bytes = resident(std::process::id())?;
+    for number in 0..plan.rounds {
+        let without = Load::new(plan, None).play()?;
+        let resident_before = resident(pid)?;
         let mut controller = controller();
-        let with = play(plan, Some(&mut controller), 0)?;
-        if n == 0 {
+        let with = Load::new(plan, Some(&mut controller)).play()?;
+        if number == 0 {
             // The first time, before the allocator has pages of an earlier round to hand.
-            memory = resident(std::process::id())?.saturating_sub(resident_bytes) as f64
-                / plan.sessions as f64;
+            let added = resident(pid)?.saturating_sub(resident_before);
+            memory = added as f64 / plan.sessions as f64;
         }
-        figures.push((none.cpu, with.cpu, with));
+        pairs.push(Pair {
+            cpu_without: without.cpu,
+            with,
+        });
     }
-    let per = |cpu: f64| cpu * 1e9 / session_seconds;
-    let spread = |values: Vec<f64>| {
-        let mut sorted = values;
-        sorted.sort_by(f64::total_cmp);
-        let (least, most) = (sorted.first().copied(), sorted.last().copied());
-        (
-            sorted[sorted.len() / 2],
-            least.unwrap_or(0.0),
-            most.unwrap_or(0.0),
-        )
-    };
-    let row = |what: &str, (median, least, most): (f64, f64, f64)| {
-        format!("| {what} | {median:.1} | {least:.1} to {most:.1} |\n")
-    };
+    Ok(text(plan, &pairs, memory))
+}
+
+fn text(plan: &Plan, pairs: &[Pair], memory: f64) -> String {
+    let session_seconds = (plan.sessions * plan.seconds) as f64;
+    let nanoseconds_each = |cpu: f64| cpu * 1e9 / session_seconds;
+    let rows: [Row<'_>; 5] = [
+        ("CPU a session second without, ns", &|pair| {
+            nanoseconds_each(pair.cpu_without)
+        }),
+        ("CPU a session second with, ns", &|pair| {
+            nanoseconds_each(pair.with.cpu)
+        }),
+        ("added, ns", &|pair| {
+            nanoseconds_each(pair.with.cpu - pair.cpu_without)
+        }),
+        ("longest step of settling, us", &|pair| {
+            pair.with.longest_step * 1e6
+        }),
+        ("longest look at the budgets, us", &|pair| {
+            pair.with.longest_tick * 1e6
+        }),
+    ];
     let mut text = format!(
         "{} sessions, {} s of a given clock, {} rounds in turns\n| | median | least to most |\n| --- | --- | --- |\n",
         plan.sessions, plan.seconds, plan.rounds
     );
-    text += &row(
-        "CPU a session second without, ns",
-        spread(figures.iter().map(|f| per(f.0)).collect()),
-    );
-    text += &row(
-        "CPU a session second with, ns",
-        spread(figures.iter().map(|f| per(f.1)).collect()),
-    );
-    text += &row(
-        "added, ns",
-        spread(figures.iter().map(|f| per(f.1 - f.0)).collect()),
-    );
-    text += &row(
-        "longest step of settling, us",
-        spread(figures.iter().map(|f| f.2.longest_step * 1e6).collect()),
-    );
-    text += &row(
-        "longest look at the budgets, us",
-        spread(figures.iter().map(|f| f.2.longest_tick * 1e6).collect()),
-    );
+    for (name, figure) in rows {
+        let spread = Spread::of(pairs.iter().map(figure).collect());
+        text += &format!(
+            "| {name} | {:.1} | {:.1} to {:.1} |\n",
+            spread.median, spread.least, spread.most
+        );
+    }
     text += &format!("memory a session: {memory:.0} bytes\n");
-    Ok(text)
+    text
 }
--- a/crates/benchmark/src/relay.rs
+++ b/crates/benchmark/src/relay.rs
@@ -1,6 +1,6 @@
 //! The floor: takes the same calls over WebSocket, passes each to the next server, and decides nothing.
 use crankpaddle_http::head;
-use crankpaddle_net::exchange::HttpExchange;
+use crankpaddle_net::exchange::{ExchangeError, HttpExchange};
 use crankpaddle_net::{accept_each, listen, Socket, WriteBuffer};
 use crankpaddle_server_protocol::sessions::{self, SetUpBody};
 use crankpaddle_session_api::Version;
@@ -9,8 +9,9 @@
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use thiserror::Error;
 use tungstenite::handshake::derive_accept_key;
 use tungstenite::protocol::{Role, WebSocketConfig, WebSocketContext};
 use tungstenite::Message;
@@ -19,6 +20,19 @@
 /// As the front's.
 const READ_BUFFER: usize = 1024;
 const UNREAD: usize = 64 * 1024;
+/// The status with which a server answers a set-up.
+const STATUS_CREATED: u16 = 201;
+
+/// Why a relayed connection ended.
+#[derive(Debug, Error)]
+enum ConnectionError {
+    #[error("{0}")]
+    Http(ExchangeError),
+    #[error(transparent)]
+    WebSocket(#[from] tungstenite::Error),
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+}
 
 struct Relay {
     servers: Vec<SocketAddr>,
@@ -75,9 +89,9 @@
 }
 
 impl Relay {
-    fn serve(&self, socket: Arc<Socket>) -> Result<(), String> {
+    fn serve(&self, socket: Arc<Socket>) -> Result<(), ConnectionError> {
         let mut wire = HttpExchange::new(socket.clone());
-        let request = wire.request_head(0).map_err(|e| e.to_string())?;
+        let request = wire.request_head(0).map_err(ConnectionError::Http)?;
         let accepted = derive_accept_key(
             request
                 .fields
@@ -99,15 +113,11 @@
         let mut context =
             WebSocketContext::from_partially_read(wire.into_rest(), Role::Server, Some(config));
         loop {
-            let read = context
-                .read(&mut Stream(&outbox))
-                .map_err(|e| e.to_string())?;
+            let read = context.read(&mut Stream(&outbox))?;
             if let Message::Text(text) = read {
-                let call: Value = serde_json::from_str(&text).map_err(|e| e.to_string())?;
+                let call: Value = serde_json::from_str(&text)?;
                 let answer = self.answer(&call);
-                context
-                    .write(&mut Stream(&outbox), Message::text(answer.to_string()))
-                    .map_err(|e| e.to_string())?;
+                context.write(&mut Stream(&outbox), Message::text(answer.to_string()))?;
             }
         }
     }
@@ -115,22 +125,38 @@
     fn answer(&self, call: &Value) -> Value {
         let (id, params) = (&call["id"], &call["params"]);
         if call["method"] == "session.close" {
-            let name = params["session"].as_str().unwrap_or("");
-            let active = self
-                .sessions
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .remove(name);
-            if let Some((server, name)) = active {
-                self.exchange(server, &sessions::tear_down(&server.to_string(), &name));
-            }
+            self.close(params);
             return json!({"jsonrpc": "2.0", "id": id, "result": {"closed": true}});
         }
-        let n = self.next.fetch_add(1, Ordering::Relaxed);
-        let server = self.servers[n % self.servers.len()];
+        match self.open(params) {
+            Some(result) => json!({"jsonrpc": "2.0", "id": id, "result": result}),
+            None => {
+                let data = json!({"reason": "server_error"});
+                let error = json!({"code": -32002, "message": "failed", "data": data});
+                json!({"jsonrpc": "2.0", "id": id, "error": error})
+            }
+        }
+    }
+
+    fn sessions(&self) -> MutexGuard<'_, HashMap<String, (SocketAddr, String)>> {
+        self.sessions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn close(&self, params: &Value) {
+        let session = params["session"].as_str().unwrap_or("");
+        let removed = self.sessions().remove(session);
+        if let Some((server, name)) = removed {
+            self.exchange(server, &sessions::tear_down(&server.to_string(), &name));
+        }
+    }
+
+    /// Passes an open to the next server; `None` where it does not set the session up.
+    fn open(&self, params: &Value) -> Option<Value> {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let server = self.servers[number % self.servers.len()];
         let text = |field: &str| params[field].as_str().unwrap_or("").to_owned();
-        let (name, session) = (format!("relayed-{n:x}"), format!("s-{n}"));
-        let order = SetUpBody {
+        let (name, session) = (format!("relayed-{number:x}"), format!("s-{number}"));
+        let body = SetUpBody {
             front: "relay".into(),
             bill: sessions::bill(&text("key")),
             title: text("title"),
@@ -139,19 +165,13 @@
             rung: 0,
             zone: String::new(),
         };
-        if self.exchange(
-            server,
-            &sessions::set_up(&server.to_string(), &name, &order),
-        ) != Some(201)
-        {
-            let error =
-                json!({"code": -32002, "message": "failed", "data": {"reason": "server_error"}});
-            return json!({"jsonrpc": "2.0", "id": id, "error": error});
+        let request = sessions::set_up(&server.to_string(), &name, &body);
+        if self.exchange(server, &request) != Some(STATUS_CREATED) {
+            return None;
         }
         let media = format!("http://{server}{}", sessions::media_path(&name));
-        let mut active = self.sessions.lock().unwrap_or_else(PoisonError::into_inner);
-        active.insert(session.clone(), (server, name));
-        json!({"jsonrpc": "2.0", "id": id, "result": {"session": session, "media": media, "rung": 0}})
+        self.sessions().insert(session.clone(), (server, name));
+        Some(json!({"session": session, "media": media, "rung": 0}))
     }
 
     /// Sends a request over a kept connection and gives the answer's status.
