--- a/crates/benchmark/src/bench/load.rs
+++ b/crates/benchmark/src/bench/load.rs
@@ -110,11 +110,11 @@
         std::thread::sleep(WARM_UP);
         let count_before = done.load(Ordering::Relaxed);
         let cpu_before = cpu_seconds(target.pid())?;
-        let started_at = clock::now();
+        let started_at = clock::now().as_nanos();
         std::thread::sleep(Duration::from_secs(seconds));
         let count = done.load(Ordering::Relaxed) - count_before;
         let cpu = cpu_seconds(target.pid())? - cpu_before;
-        let elapsed = (clock::now() - started_at) as f64 / SECOND as f64;
+        let elapsed = (clock::now().as_nanos() - started_at) as f64 / SECOND as f64;
         stop.store(true, Ordering::Release);
         pending.wait(Duration::from_millis(10));
         *failures = lock(&recorded).clone();
@@ -163,11 +163,11 @@
             failures: Mutex::new(std::mem::take(failures)),
         });
         let pending = Pending::default();
-        let start = clock::now() + SECOND / 10;
+        let start = clock::now().as_nanos() + SECOND / 10;
         let count = (rate * seconds as f64) as u64;
         for number in 0..count {
             let scheduled_at = start + (number as f64 / rate * SECOND as f64) as u64;
-            let now = clock::now();
+            let now = clock::now().as_nanos();
             if scheduled_at > now {
                 std::thread::sleep(Duration::from_nanos(scheduled_at - now));
             }
@@ -233,11 +233,11 @@
     fn open_and_close(&self, client: &mut Client) -> Result<u64, SetUpFailure> {
         let id = self.calls.fetch_add(2, Ordering::Relaxed);
         let open = open_params("measured", id);
-        let deadline = clock::now() + ANSWER_TIMEOUT;
+        let deadline = clock::now().as_nanos() + ANSWER_TIMEOUT;
         let is_answer =
             |event: &ClientEvent| matches!(event, ClientEvent::Plays { id: of, .. } if *of == id);
         let event = request(client, client::open(id, &open), deadline, is_answer)?;
-        let answered_at = clock::now();
+        let answered_at = clock::now().as_nanos();
         if let ClientEvent::Plays { session, .. } = event {
             let is_closed = |event: &ClientEvent| matches!(event, ClientEvent::Closed { id: of } if *of == id + 1);
             let close = client::close(id + 1, &session);
@@ -322,7 +322,7 @@
             let id = self.clients.calls.fetch_add(2, Ordering::Relaxed);
             let open = open_params("held", id);
             let _ = client.send(client::open(id, &open)); // Counted by the memory that it takes.
-            let _ = client.next(clock::now() + ANSWER_TIMEOUT);
+            let _ = client.next(clock::now().as_nanos() + ANSWER_TIMEOUT);
         }
         pending.end();
         while !self.stop.load(Ordering::Acquire) {
--- a/crates/benchmark/src/relay.rs
+++ b/crates/benchmark/src/relay.rs
@@ -91,7 +91,7 @@
 impl Relay {
     fn serve(&self, socket: Arc<Socket>) -> Result<(), ConnectionError> {
         let mut wire = HttpExchange::new(socket.clone());
-        let request = wire.request_head(0).map_err(ConnectionError::Http)?;
+        let request = wire.request_head(None).map_err(ConnectionError::Http)?;
         let accepted = derive_accept_key(
             request
                 .fields
--- a/crates/cli/src/testbed/players.rs
+++ b/crates/cli/src/testbed/players.rs
@@ -54,10 +54,10 @@
     seed: u64,
     players: &Arc<PlayerPool>,
 ) {
-    let start = clock::now();
+    let start = clock::now().as_nanos();
     let end = start + day.length;
     for (offset, mut visit) in scenario_runner::arrivals(day, config, seed) {
-        let wait = (start + offset).saturating_sub(clock::now());
+        let wait = (start + offset).saturating_sub(clock::now().as_nanos());
         std::thread::sleep(Duration::from_nanos(wait));
         visit.fronts = vec![(0, front)];
         visit.watch = visit.watch.min(day.length - offset);
--- a/crates/daemon/src/connection_pool.rs
+++ b/crates/daemon/src/connection_pool.rs
@@ -1,8 +1,10 @@
 //! Idle connections to servers, kept for the next attempt.
 use crankpaddle_net::{clock, Socket};
+use crankpaddle_time::Time;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 type IdleConnections = HashMap<SocketAddr, Vec<Arc<Socket>>>;
 
@@ -19,7 +21,7 @@
             // Why it is checked right before use: a server closes idle connections too, and what is written
             // into a closed one may have run as far as is known here, so that a paid set-up would be lost.
             if socket.is_idle() {
-                socket.set_expiry(u64::MAX);
+                socket.set_expiry(Time::MAX);
                 return Some(socket);
             }
         }
@@ -29,7 +31,7 @@
 
     /// Keeps a connection for `idle_timeout`, nanoseconds.
     pub(crate) fn put(&self, address: SocketAddr, socket: Arc<Socket>, idle_timeout: u64) {
-        socket.set_expiry(clock::now().saturating_add(idle_timeout));
+        socket.set_expiry(clock::now() + Duration::from_nanos(idle_timeout));
         let mut idle = self.lock();
         let sockets = idle.entry(address).or_default();
         sockets.retain(|socket| !socket.is_closed());
--- a/crates/daemon/src/event_loop/attempts.rs
+++ b/crates/daemon/src/event_loop/attempts.rs
@@ -21,7 +21,7 @@
         self.record_attempt_result(attempt, &name, proven_result(&result));
         match &result {
             SetUpResult::Started(_) => {
-                let now = clock::now();
+                let now = clock::now().as_nanos();
                 let state = self.servers.entry(server).or_default();
                 state.connection.session_started(attempt, name, now);
                 self.traffic.controller.session_established(attempt.0, now);
@@ -70,11 +70,11 @@
         self.record_attempt_result(attempt, &live.name, AttemptResult::Ended);
         self.traffic
             .controller
-            .attempt_ended(attempt.0, is_server_lost, clock::now());
+            .attempt_ended(attempt.0, is_server_lost, clock::now().as_nanos());
         if let Some(state) = self.servers.get_mut(&live.server) {
             state.connection.session_ended(attempt);
         }
-        live.link.attempt_released(clock::now());
+        live.link.attempt_released(clock::now().as_nanos());
         Some(live)
     }
 }
--- a/crates/daemon/src/event_loop/durable_state.rs
+++ b/crates/daemon/src/event_loop/durable_state.rs
@@ -85,7 +85,8 @@
 
     /// Uptime of all incarnations together, milliseconds.
     pub(super) fn uptime_ms(&self) -> u64 {
-        self.previous_uptime_ms + clock::now().saturating_sub(self.started_at) / MILLISECOND
+        self.previous_uptime_ms
+            + clock::now().as_nanos().saturating_sub(self.started_at) / MILLISECOND
     }
 
     /// Writes the uptime, and where the shutdown is clean, that it was; returns the thread that writes.
--- a/crates/daemon/src/event_loop/maintenance.rs
+++ b/crates/daemon/src/event_loop/maintenance.rs
@@ -5,7 +5,7 @@
 
 impl EventLoop {
     pub(super) fn run_maintenance(&mut self) {
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         let idle_timeout = self.shared.limits().pool_idle;
         for state in self.servers.values() {
             if let Some(link) = &state.link {
@@ -50,7 +50,11 @@
 
     /// Passes changes of how classes may be served from other zones to the core.
     pub(super) fn apply_cross_zone_policy(&mut self) {
-        for change in self.traffic.controller.policy_changes(clock::now()) {
+        for change in self
+            .traffic
+            .controller
+            .policy_changes(clock::now().as_nanos())
+        {
             let (zone, class, policy) = (change.zone, change.class, change.policy);
             tracing::info!(zone, class, ?policy, "cross-zone policy changed");
             self.handle_core_input(Input::CrossZonePolicyChanged {
--- a/crates/daemon/src/event_loop/mod.rs
+++ b/crates/daemon/src/event_loop/mod.rs
@@ -116,7 +116,7 @@
             config.settings.clone(),
             config.terms.clone(),
             seed,
-            Time(clock::now()),
+            Time(clock::now().as_nanos()),
         );
         let titles = config.titles.iter();
         let title_names = titles.map(|(name, title)| (title.number, name.clone()));
@@ -150,7 +150,7 @@
 
     /// Runs until the front has stopped; returns the threads that still write to disk.
     pub(crate) fn run(mut self, inbox: &Receiver<Message>) -> Vec<JoinHandle<()>> {
-        self.next_maintenance = clock::now() + MAINTENANCE_INTERVAL;
+        self.next_maintenance = clock::now().as_nanos() + MAINTENANCE_INTERVAL;
         while !self.is_finished() {
             let Ok(first) = self.wait_for_message(inbox) else {
                 break;
@@ -159,12 +159,13 @@
                 self.handle_message(message);
             }
             self.drain_inbox(inbox);
-            if clock::now() >= self.next_maintenance {
-                self.next_maintenance = clock::now() + MAINTENANCE_INTERVAL;
+            if clock::now().as_nanos() >= self.next_maintenance {
+                self.next_maintenance = clock::now().as_nanos() + MAINTENANCE_INTERVAL;
                 self.run_maintenance();
             }
             self.advance_shutdown();
-            self.core.expire(Time(clock::now()), &mut self.outputs);
+            self.core
+                .expire(Time(clock::now().as_nanos()), &mut self.outputs);
             self.perform_outputs();
             self.shared
                 .publish_counts(self.core.waiting(), self.core.playing());
@@ -177,7 +178,7 @@
         &mut self,
         inbox: &Receiver<Message>,
     ) -> Result<Option<Message>, InboxClosed> {
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         let mut deadline = self.core_deadline();
         deadline = deadline.min(self.next_maintenance);
         deadline = deadline.min(self.shutdown.deadline());
@@ -190,7 +191,7 @@
         if self.shutdown.is_stopping() {
             deadline = deadline.min(now.saturating_add(STOP_POLL_INTERVAL));
         }
-        match recv_until(inbox, deadline) {
+        match recv_until(inbox, Time(deadline)) {
             Ok(message) => Ok(Some(message)),
             Err(RecvTimeoutError::Timeout) => Ok(None),
             Err(RecvTimeoutError::Disconnected) => Err(InboxClosed),
@@ -202,7 +203,7 @@
     fn drain_inbox(&mut self, inbox: &Receiver<Message>) {
         drain_queue(inbox, MESSAGE_BATCH, |message| self.handle_message(message));
         let deadline = self.core_deadline();
-        let has_stalled = drain_after_stall(deadline, || {
+        let has_stalled = drain_after_stall(Time(deadline), || {
             let handled = drain_queue(inbox, MESSAGE_BATCH, |message| self.handle_message(message));
             handled == MESSAGE_BATCH
         });
@@ -219,7 +220,7 @@
     /// [`Core::expire`], when the queue is drained.
     fn handle_core_input(&mut self, input: Input) {
         self.core
-            .handle_input(Time(clock::now()), input, &mut self.outputs);
+            .handle_input(Time(clock::now().as_nanos()), input, &mut self.outputs);
         self.perform_outputs();
     }
 }
--- a/crates/daemon/src/event_loop/previous_incarnation.rs
+++ b/crates/daemon/src/event_loop/previous_incarnation.rs
@@ -23,7 +23,7 @@
         let Some(store_config) = &self.shared.config.store else {
             return;
         };
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         let recovered = &opened.recovered;
         let mut recovery = StagedRecovery::new(store_config.steps, now);
         recovery.start_reading(now);
--- a/crates/daemon/src/event_loop/reconciliation.rs
+++ b/crates/daemon/src/event_loop/reconciliation.rs
@@ -113,7 +113,7 @@
 
     pub(super) fn inventory_received(&mut self, server: ServerId, inventory: SessionInventory) {
         let age = inventory.age_ms.saturating_mul(MILLISECOND);
-        let started_at = clock::now().saturating_sub(age);
+        let started_at = clock::now().as_nanos().saturating_sub(age);
         if let (Some(state), Some(incarnation)) =
             (self.servers.get_mut(&server), inventory.boots.last())
         {
@@ -128,7 +128,7 @@
         });
         tracing::info!(
             server_id = server.0,
-            age_ms = (clock::now() - started_at) / MILLISECOND,
+            age_ms = (clock::now().as_nanos() - started_at) / MILLISECOND,
             resolutions = ?outcome.resolutions,
             "session inventory received"
         );
@@ -233,7 +233,7 @@
             return;
         };
         let server_starts = durable.server_starts.clone();
-        let now = Time(clock::now());
+        let now = Time(clock::now().as_nanos());
         for DeferredList {
             kind,
             mut endpoints,
--- a/crates/daemon/src/event_loop/server_messages.rs
+++ b/crates/daemon/src/event_loop/server_messages.rs
@@ -41,7 +41,7 @@
     fn stream_started(&mut self, server: ServerId, start: &StreamStart, called_at: u64) {
         self.traffic
             .controller
-            .server_connected(server.0, clock::now());
+            .server_connected(server.0, clock::now().as_nanos());
         self.detect_server_start(server, start);
         let Some(state) = self.servers.get_mut(&server) else {
             return;
@@ -91,7 +91,7 @@
         };
         let is_known = state.connection.incarnation().is_some();
         let is_other = state.connection.is_other_incarnation(&start.boot);
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         let age = start.age_ms.map(|age| age.saturating_mul(MILLISECOND));
         let started_at = match (is_known, age) {
             (true, _) if !is_other => return,
@@ -123,7 +123,9 @@
     }
 
     fn stream_closed(&mut self, server: ServerId) {
-        self.traffic.controller.server_alive(server.0, clock::now());
+        self.traffic
+            .controller
+            .server_alive(server.0, clock::now().as_nanos());
     }
 
     /// Ends the sessions of a server that can't be reached.
@@ -135,7 +137,7 @@
     fn server_unreachable(&mut self, server: ServerId, called_at: u64) {
         self.traffic.controller.server_lost(server.0);
         if self.is_list_unavailable {
-            self.server_started(server, clock::now());
+            self.server_started(server, clock::now().as_nanos());
         }
         let lost = self
             .servers
@@ -167,7 +169,7 @@
             if let (Some(server), SessionUpdate::DeliveryRatio(ratio)) = (server, update) {
                 self.traffic
                     .controller
-                    .delivery_reported(server.0, ratio, clock::now());
+                    .delivery_reported(server.0, ratio, clock::now().as_nanos());
             }
             self.handle_core_input(Input::SessionUpdated(attempt, update));
         }
@@ -207,6 +209,6 @@
     fn final_bytes_counted(&mut self, attempt: AttemptId, sent_bytes: u64) {
         self.traffic
             .controller
-            .final_bytes_counted(attempt.0, sent_bytes, clock::now());
+            .final_bytes_counted(attempt.0, sent_bytes, clock::now().as_nanos());
     }
 }
--- a/crates/daemon/src/event_loop/session_adoption.rs
+++ b/crates/daemon/src/event_loop/session_adoption.rs
@@ -110,7 +110,7 @@
         );
         link.attempt_added(&self.shared);
         self.attempt_ids.insert(session.name.clone(), attempt);
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         let order = self.adopted_order(&session);
         self.traffic.attempt_started(attempt, 0, server, &order);
         self.traffic.controller.session_established(attempt.0, now);
--- a/crates/daemon/src/event_loop/shutdown.rs
+++ b/crates/daemon/src/event_loop/shutdown.rs
@@ -46,7 +46,9 @@
             "draining started"
         );
         self.shared.start_draining();
-        let deadline = clock::now().saturating_add(self.shared.limits().drain);
+        let deadline = clock::now()
+            .as_nanos()
+            .saturating_add(self.shared.limits().drain);
         self.shutdown = Shutdown::Draining { deadline };
         self.handle_core_input(Input::Drain);
     }
@@ -57,7 +59,7 @@
         let Shutdown::Draining { deadline } = self.shutdown else {
             return;
         };
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         if self.core.waiting() > 0 && now < deadline {
             return;
         }
@@ -77,7 +79,7 @@
             return false;
         };
         let all_sent = self.players.is_empty() && !self.shared.has_pending_controls();
-        all_sent || clock::now() >= deadline
+        all_sent || clock::now().as_nanos() >= deadline
     }
 
     /// Writes what shall be on disk at the end; returns the threads that write it.
--- a/crates/daemon/src/event_loop/status.rs
+++ b/crates/daemon/src/event_loop/status.rs
@@ -27,7 +27,7 @@
     }
 
     fn recovery_steps(&self) -> Vec<ReturnStep> {
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         let transitions = self.core.recovery().transitions().iter();
         let step = transitions.map(|transition| ReturnStep {
             stage: service_stage(transition.stage),
--- a/crates/daemon/src/http_responses.rs
+++ b/crates/daemon/src/http_responses.rs
@@ -5,6 +5,7 @@
 use crankpaddle_http::head::{self, Request};
 use crankpaddle_http::problem::Problem;
 use crankpaddle_net::{clock, recv_until};
+use crankpaddle_time::Time;
 use may::sync::mpsc::{channel, Sender};
 
 /// A header field.
@@ -110,7 +111,7 @@
         let Some(membership) = &self.shared.membership else {
             return self.problem(404, "this front has no peers in its configuration", &[]);
         };
-        match membership.members(clock::now().saturating_add(REPLY_TIMEOUT)) {
+        match membership.members(clock::now().as_nanos().saturating_add(REPLY_TIMEOUT)) {
             Some(members) => {
                 let body = serde_json::to_string(&members).unwrap_or_default();
                 self.success(200, JSON, &body)
@@ -134,8 +135,8 @@
     fn request<T>(&self, message: impl FnOnce(Sender<T>) -> Message) -> Result<T, ReplyTimeout> {
         let (reply, replies) = channel();
         self.shared.send(message(reply));
-        let deadline = clock::now().saturating_add(REPLY_TIMEOUT);
-        recv_until(&replies, deadline).map_err(|_| ReplyTimeout)
+        let deadline = clock::now().as_nanos().saturating_add(REPLY_TIMEOUT);
+        recv_until(&replies, Time(deadline)).map_err(|_| ReplyTimeout)
     }
 
     fn busy(&self) -> Vec<u8> {
--- a/crates/daemon/src/inventory_client.rs
+++ b/crates/daemon/src/inventory_client.rs
@@ -8,6 +8,7 @@
 use crankpaddle_server_protocol::sessions;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Bytes of an inventory at most: some hundred thousand bills.
 const MOST_INVENTORY: u64 = 16 << 20;
@@ -57,7 +58,7 @@
     let store = shared.config.store.as_ref();
     let timeout = store.map_or(0, |store| store.steps.reconciliation_timeout);
     let socket = Arc::new(Socket::connect(address, shared.connect_timeout()).ok()?);
-    socket.set_expiry(clock::now().saturating_add(timeout));
+    socket.set_expiry(clock::now() + Duration::from_nanos(timeout));
     shared.server_sweeper.watch(&socket);
     socket.write_all(request).ok()?;
     let (response, body) = HttpExchange::new(socket).response(MOST_INVENTORY).ok()?;
--- a/crates/daemon/src/list_service_client.rs
+++ b/crates/daemon/src/list_service_client.rs
@@ -114,7 +114,7 @@
     let socket = Socket::connect(&address, shared.connect_timeout()).ok()?;
     let socket = Arc::new(socket);
     let silence_timeout = shared.limits().silence;
-    socket.set_expiry(clock::now().saturating_add(silence_timeout));
+    socket.set_expiry(clock::now() + Duration::from_nanos(silence_timeout));
     shared.server_sweeper.watch(&socket);
     let request = list::subscribe(&address.to_string(), shared.names.front());
     socket.write_all(&request).ok()?;
@@ -123,5 +123,7 @@
     if head.status != OK {
         return None;
     }
-    exchange.events(&head, silence_timeout).ok()
+    exchange
+        .events(&head, Duration::from_nanos(silence_timeout))
+        .ok()
 }
--- a/crates/daemon/src/membership_runner.rs
+++ b/crates/daemon/src/membership_runner.rs
@@ -12,6 +12,7 @@
     LocalHealth, MemberChange, MemberState, Membership, MembershipConfig, Output,
 };
 use crankpaddle_net::{clock, drain_queue, recv_until, spawn, Stack};
+use crankpaddle_time::Time;
 use may::net::UdpSocket;
 use may::sync::mpsc::{channel, Receiver, Sender};
 use std::collections::HashMap;
@@ -45,7 +46,7 @@
     pub(crate) fn members(&self, deadline: u64) -> Option<Members> {
         let (reply, replies) = channel();
         self.0.send(Command::DescribeMembers { reply }).ok()?;
-        recv_until(&replies, deadline).ok()
+        recv_until(&replies, Time(deadline)).ok()
     }
 
     /// Announces to the peers that this front leaves. Call on a thread, not in a coroutine.
@@ -133,7 +134,7 @@
             read_datagrams(&reader_socket, &commands);
         });
         let runner = MembershipRunner {
-            membership: Membership::new(self.config, rand::random(), clock::now()),
+            membership: Membership::new(self.config, rand::random(), clock::now().as_nanos()),
             socket: self.socket,
             routes: self.routes,
             outputs: Vec::new(),
@@ -180,10 +181,10 @@
 
     /// Handles the commands that come until the next deadline, then the timers.
     fn run_once(&mut self, inbox: &Receiver<Command>) -> ControlFlow<()> {
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         let deadline = self.membership.next_expiry();
         if deadline > now {
-            match recv_until(inbox, deadline) {
+            match recv_until(inbox, Time(deadline)) {
                 Ok(command) => self.handle_command(command)?,
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return ControlFlow::Break(()),
@@ -194,7 +195,8 @@
         for command in commands {
             self.handle_command(command)?;
         }
-        self.membership.expire(clock::now(), &mut self.outputs);
+        self.membership
+            .expire(clock::now().as_nanos(), &mut self.outputs);
         self.perform_outputs();
         ControlFlow::Continue(())
     }
@@ -205,15 +207,17 @@
             Command::Receive { from, bytes } => {
                 let from = from.to_string();
                 self.membership
-                    .receive(clock::now(), &from, &bytes, &mut self.outputs);
+                    .receive(clock::now().as_nanos(), &from, &bytes, &mut self.outputs);
                 self.perform_outputs();
             }
             Command::DescribeMembers { reply } => {
-                let members = describe_members(clock::now(), &self.membership, &self.history);
+                let members =
+                    describe_members(clock::now().as_nanos(), &self.membership, &self.history);
                 let _ = reply.send(members); // The requester may be gone.
             }
             Command::Leave { done } => {
-                self.membership.leave(clock::now(), &mut self.outputs);
+                self.membership
+                    .leave(clock::now().as_nanos(), &mut self.outputs);
                 self.perform_outputs();
                 let _ = done.send(()); // The requester may have timed out.
                 return ControlFlow::Break(());
@@ -273,7 +277,7 @@
                 "member state changed"
             ),
         }
-        self.history.record(clock::now(), change);
+        self.history.record(clock::now().as_nanos(), change);
     }
 
     fn report_fleet_size(&mut self) {
--- a/crates/daemon/src/player.rs
+++ b/crates/daemon/src/player.rs
@@ -8,6 +8,7 @@
 use serde_json::Value;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use tungstenite::protocol::frame::coding::{CloseCode, Data, OpCode};
 use tungstenite::protocol::frame::Frame;
 use tungstenite::protocol::CloseFrame;
@@ -45,7 +46,7 @@
             version,
             outbox: WriteBuffer::new(socket, most_unread),
             calls: Mutex::default(),
-            last_received: AtomicU64::new(clock::now()),
+            last_received: AtomicU64::new(clock::now().as_nanos()),
             pinged_at: AtomicU64::new(NOT_PINGED),
         }
     }
@@ -94,7 +95,7 @@
         self.send_frame(Frame::close(Some(reason)));
         self.outbox
             .socket()
-            .set_expiry(clock::now() + CLOSE_TIMEOUT / 2);
+            .set_expiry(clock::now() + Duration::from_nanos(CLOSE_TIMEOUT / 2));
     }
 
     /// Queues a WebSocket frame.
@@ -107,7 +108,8 @@
 
     /// Bytes were received: the player is alive.
     pub(crate) fn received(&self) {
-        self.last_received.store(clock::now(), Ordering::Relaxed);
+        self.last_received
+            .store(clock::now().as_nanos(), Ordering::Relaxed);
         self.pinged_at.store(NOT_PINGED, Ordering::Relaxed);
     }
 
--- a/crates/daemon/src/player_calls.rs
+++ b/crates/daemon/src/player_calls.rs
@@ -87,7 +87,7 @@
             Method::Open(open) => Input::Open {
                 call,
                 open: names::open_request(config, open)?,
-                received: Time(clock::now()),
+                received: Time(clock::now().as_nanos()),
             },
             Method::Resume(resume) => Input::Resume {
                 call,
--- a/crates/daemon/src/player_session.rs
+++ b/crates/daemon/src/player_session.rs
@@ -6,6 +6,7 @@
 use crate::websocket_handshake::AcceptedHandshake;
 use crankpaddle_front::PlayerId;
 use crankpaddle_net::{sleep, Socket};
+use crankpaddle_time::Time;
 use std::io::{self, Read, Write};
 use std::sync::Arc;
 use std::time::Duration;
@@ -45,7 +46,7 @@
     handshake: &AcceptedHandshake,
 ) {
     let limits = shared.limits();
-    socket.set_expiry(u64::MAX); // From now on the idle timeout counts.
+    socket.set_expiry(Time::MAX); // From now on the idle timeout counts.
     let player = Arc::new(Player::new(
         socket.clone(),
         handshake.version,
@@ -73,7 +74,7 @@
         player.send_frame(Frame::close(Some(CloseFrame { code, reason })));
     }
     player.outbox.flush();
-    socket.finish(CLOSE_TIMEOUT);
+    socket.finish(Duration::from_nanos(CLOSE_TIMEOUT));
 }
 
 /// Reads until the connection ends; returns the reason where this side closes it.
--- a/crates/daemon/src/server_link/controls.rs
+++ b/crates/daemon/src/server_link/controls.rs
@@ -93,7 +93,7 @@
     control: &Control,
 ) -> Option<Arc<Socket>> {
     let request = control.request(&target.address.to_string());
-    socket.set_expiry(clock::now().saturating_add(CONTROL_TIMEOUT));
+    socket.set_expiry(clock::now() + Duration::from_nanos(CONTROL_TIMEOUT));
     socket.write_all(&request).ok()?;
     let mut exchange = HttpExchange::new(socket.clone());
     let (response, body) = exchange.response(MOST_RESPONSE).ok()?;
@@ -109,6 +109,6 @@
     if !response.keeps_alive() || !exchange.is_clean() {
         return None;
     }
-    socket.set_expiry(clock::now().saturating_add(shared.limits().pool_idle));
+    socket.set_expiry(clock::now() + Duration::from_nanos(shared.limits().pool_idle));
     Some(socket)
 }
--- a/crates/daemon/src/server_link/mod.rs
+++ b/crates/daemon/src/server_link/mod.rs
@@ -58,7 +58,7 @@
             id,
             address,
             attempts: AtomicUsize::new(0),
-            idle_since: AtomicU64::new(clock::now()),
+            idle_since: AtomicU64::new(clock::now().as_nanos()),
             is_wanted: AtomicBool::new(false),
             is_subscribed: AtomicBool::new(false),
             stream: Mutex::new(Weak::new()),
--- a/crates/daemon/src/server_link/stream.rs
+++ b/crates/daemon/src/server_link/stream.rs
@@ -16,14 +16,15 @@
 impl ServerLink {
     /// Calls the server again and again, and passes its events to the event loop, until the link is idle.
     pub(super) fn follow_stream(&self, shared: &Shared) {
-        let mut reachability = ReachabilityTracker::new(clock::now(), shared.limits().silence);
+        let mut reachability =
+            ReachabilityTracker::new(clock::now().as_nanos(), shared.limits().silence);
         loop {
-            let called_at = clock::now();
+            let called_at = clock::now().as_nanos();
             let failure = match self.call(shared) {
                 Ok(events) => self.read_events(shared, events, called_at, &mut reachability),
                 Err(failure) => failure,
             };
-            let verdict = reachability.call_failed(clock::now(), failure);
+            let verdict = reachability.call_failed(clock::now().as_nanos(), failure);
             if verdict.is_lost {
                 shared.send_from_server(self.id, ServerMessage::Unreachable { called_at });
             }
@@ -40,7 +41,7 @@
         let socket = Socket::connect(&self.address, shared.connect_timeout());
         let socket = Arc::new(socket.map_err(|error| connect_failure(&error))?);
         let silence_timeout = shared.limits().silence;
-        socket.set_expiry(clock::now().saturating_add(silence_timeout));
+        socket.set_expiry(clock::now() + Duration::from_nanos(silence_timeout));
         shared.server_sweeper.watch(&socket);
         self.set_stream_socket(&socket);
         let request = event_stream::subscribe(&self.address.to_string(), shared.names.front());
@@ -52,7 +53,7 @@
         if head.status != OK {
             return Err(CallFailure::NoResponse);
         }
-        let events = exchange.events(&head, silence_timeout);
+        let events = exchange.events(&head, Duration::from_nanos(silence_timeout));
         events.map_err(|_| CallFailure::NoResponse)
     }
 
@@ -74,7 +75,7 @@
                 Ok(Some(ServerEvent::StreamStart(start))) => {
                     let message = ServerMessage::StreamStarted { start, called_at };
                     shared.send_from_server(self.id, message);
-                    reachability.stream_started(clock::now());
+                    reachability.stream_started(clock::now().as_nanos());
                     has_started = true;
                 }
                 Ok(Some(event)) => self.pass_event(shared, event),
--- a/crates/daemon/src/traffic.rs
+++ b/crates/daemon/src/traffic.rs
@@ -164,7 +164,7 @@
         sent_bytes: &[(AttemptId, u64)],
         crossing: &[CrossZoneRate],
     ) {
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         for (attempt, bytes) in sent_bytes {
             self.controller.bytes_counted(attempt.0, *bytes, now);
         }
@@ -202,7 +202,7 @@
     /// Settles the next sessions; whether some are left.
     pub(crate) fn settle_step(&mut self) -> bool {
         if self.is_settling {
-            let now = clock::now();
+            let now = clock::now().as_nanos();
             self.is_settling = !self.controller.settle_usage(now, SESSIONS_PER_STEP);
         }
         self.is_settling
@@ -215,7 +215,7 @@
             self.front,
             self.zone,
             &self.names,
-            clock::now(),
+            clock::now().as_nanos(),
         );
         serde_json::to_string(&report).unwrap_or_default()
     }
--- a/crates/net/examples/timed_waits.rs
+++ b/crates/net/examples/timed_waits.rs
@@ -8,11 +8,11 @@
 use std::time::Duration;
 
 /// Uniform random times from 1 ms to about `max_ms` ms, hardly ever the same twice.
-fn random_time(state: &mut u64, max_ms: u64) -> u64 {
+fn random_time(state: &mut u64, max_ms: u64) -> Duration {
     *state = state
         .wrapping_mul(6_364_136_223_846_793_005)
         .wrapping_add(1_442_695_040_888_963_407);
-    1_000_000 + (*state >> 20) % (max_ms * 1_000_000)
+    Duration::from_nanos(1_000_000 + (*state >> 20) % (max_ms * 1_000_000))
 }
 
 fn main() {
@@ -30,7 +30,7 @@
         let (slept, waited) = (counts.clone(), counts.clone());
         let mut state = i;
         spawn(Stack::Usual, move || loop {
-            sleep(Duration::from_nanos(random_time(&mut state, 30)));
+            sleep(random_time(&mut state, 30));
             slept[0].fetch_add(1, Ordering::Relaxed);
             if sender.send(()).is_err() {
                 return;
--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -1,4 +1,5 @@
 //! The process's only clock: Unix time in nanoseconds as of its start, advanced monotonically.
+use crankpaddle_time::Time;
 use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -10,12 +11,12 @@
 
 static ORIGIN: OnceLock<Origin> = OnceLock::new();
 
-/// The current time in nanoseconds.
+/// The current time.
 ///
 /// It never goes back, whatever happens to the host's wall clock. The endpoint list states servers' starts in Unix time,
 /// so hosts whose wall clocks differ misjudge a server's slow start by as much.
 #[must_use]
-pub fn now() -> u64 {
+pub fn now() -> Time {
     let origin = ORIGIN.get_or_init(|| {
         let unix = SystemTime::now()
             .duration_since(UNIX_EPOCH)
@@ -25,10 +26,5 @@
             unix_nanoseconds: unix.as_nanos() as u64,
         }
     });
-    origin.unix_nanoseconds + origin.instant.elapsed().as_nanos() as u64
-}
-
-/// The current time plus `nanoseconds`, for [`crate::Socket::set_expiry`].
-pub(crate) fn after(nanoseconds: u64) -> u64 {
-    now().saturating_add(nanoseconds)
+    Time(origin.unix_nanoseconds) + origin.instant.elapsed()
 }
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -1,11 +1,13 @@
 //! HTTP messages over a socket.
-use crate::clock::after;
+use crate::clock;
 use crate::Socket;
 use crankpaddle_http::body::Body;
 use crankpaddle_http::head::{Framing, Request, Response};
 use crankpaddle_http::sse::{Event, Reader};
 use crankpaddle_http::HttpError;
+use crankpaddle_time::Time;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Why no message was received.
 #[derive(Debug, thiserror::Error)]
@@ -66,11 +68,11 @@
         }
     }
 
-    /// The next request's head. `timeout` bounds the time from its first byte, nanoseconds (0: unbounded).
+    /// The next request's head. `timeout` bounds the time from its first byte; `None`: unbounded.
     ///
     /// # Errors
     /// None was received.
-    pub fn request_head(&mut self, timeout: u64) -> Result<Request, ExchangeError> {
+    pub fn request_head(&mut self, timeout: Option<Duration>) -> Result<Request, ExchangeError> {
         loop {
             if let Some((request, length)) = Request::parse(&self.buffer)? {
                 self.buffer.drain(..length);
@@ -78,8 +80,8 @@
             }
             let is_first_read = self.buffer.is_empty();
             self.fill_buffer()?;
-            if is_first_read && timeout > 0 {
-                self.socket.set_expiry(after(timeout));
+            if let Some(timeout) = timeout.filter(|_| is_first_read) {
+                self.socket.set_expiry(clock::now() + timeout);
             }
         }
     }
@@ -91,13 +93,13 @@
     pub fn request(
         &mut self,
         max_body: u64,
-        timeout: u64,
+        timeout: Option<Duration>,
     ) -> Result<(Request, Vec<u8>), ExchangeError> {
         let request = self.request_head(timeout)?;
         let body = Body::new(request.framing()?, max_body)?;
         let data = self.read_body(body)?;
-        if timeout > 0 {
-            self.socket.set_expiry(u64::MAX);
+        if timeout.is_some() {
+            self.socket.set_expiry(Time::MAX);
         }
         Ok((request, data))
     }
@@ -172,11 +174,11 @@
         }
     }
 
-    /// Continues as a stream of events after its head; `silence` is the longest time without a byte, nanoseconds.
+    /// Continues as a stream of events after its head; `silence` is the longest time without a byte.
     ///
     /// # Errors
     /// The framing of its body is unknown.
-    pub fn events(self, head: &Response, silence: u64) -> Result<Events, ExchangeError> {
+    pub fn events(self, head: &Response, silence: Duration) -> Result<Events, ExchangeError> {
         let body = Body::new(head.framing()?, u64::MAX)?;
         Ok(Events {
             exchange: self,
@@ -194,7 +196,7 @@
     body: Body,
     reader: Reader,
     ready: std::vec::IntoIter<Event>,
-    silence: u64,
+    silence: Duration,
 }
 
 impl Events {
@@ -218,7 +220,7 @@
                 if self.body.is_complete() {
                     return Err(ExchangeError::Closed);
                 }
-                self.exchange.socket.set_expiry(after(self.silence));
+                self.exchange.socket.set_expiry(clock::now() + self.silence);
                 self.exchange.fill_buffer()?;
             }
         }
--- a/crates/net/src/runtime.rs
+++ b/crates/net/src/runtime.rs
@@ -1,5 +1,6 @@
 //! Starting may and its coroutines; waits and timers.
 use crate::clock;
+use crankpaddle_time::Time;
 use may::coroutine;
 use may::sync::mpsc::Receiver;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -66,16 +67,16 @@
 ///
 /// # Errors
 /// The deadline has passed, or there is no sender any more.
-pub fn recv_until<T>(receiver: &Receiver<T>, deadline: u64) -> Result<T, RecvTimeoutError> {
+pub fn recv_until<T>(receiver: &Receiver<T>, deadline: Time) -> Result<T, RecvTimeoutError> {
     loop {
-        let remaining = deadline.saturating_sub(clock::now());
-        if remaining == 0 {
+        let remaining = deadline.duration_since(clock::now());
+        if remaining.is_zero() {
             return receiver.try_recv().map_err(|error| match error {
                 TryRecvError::Empty => RecvTimeoutError::Timeout,
                 TryRecvError::Disconnected => RecvTimeoutError::Disconnected,
             });
         }
-        match receiver.recv_timeout(timer_step(Duration::from_nanos(remaining / 2))) {
+        match receiver.recv_timeout(timer_step(remaining / 2)) {
             Err(RecvTimeoutError::Timeout) => {}
             other => return other,
         }
@@ -99,8 +100,8 @@
     count
 }
 
-/// A timer late by more than this, in nanoseconds, shows that the whole process was stalled.
-const STALL: u64 = 250_000_000;
+/// A timer late by more than this shows that the whole process was stalled.
+const STALL: Duration = Duration::from_millis(250);
 /// How long after a stall the sockets are read before anything falls due.
 const CATCH_UP: Duration = Duration::from_millis(20);
 
@@ -110,8 +111,8 @@
 /// sockets. They are read first.
 ///
 /// `drain_more` handles queued messages and returns whether there may be more.
-pub fn drain_after_stall(due: u64, mut drain_more: impl FnMut() -> bool) -> bool {
-    let was_stalled = clock::now() > due.saturating_add(STALL);
+pub fn drain_after_stall(due: Time, mut drain_more: impl FnMut() -> bool) -> bool {
+    let was_stalled = clock::now() > due + STALL;
     if was_stalled {
         sleep(CATCH_UP);
         while drain_more() {}
@@ -135,13 +136,13 @@
 
 /// Waits without blocking a thread, some milliseconds longer than `time` at most.
 pub fn sleep(time: Duration) {
-    let deadline = clock::now().saturating_add(time.max(MIN_WAIT).as_nanos() as u64);
+    let deadline = clock::now() + time.max(MIN_WAIT);
     loop {
-        let remaining = deadline.saturating_sub(clock::now());
-        if remaining == 0 {
+        let remaining = deadline.duration_since(clock::now());
+        if remaining.is_zero() {
             return;
         }
-        coroutine::sleep(timer_step(Duration::from_nanos(remaining)));
+        coroutine::sleep(timer_step(remaining));
     }
 }
 
--- a/crates/net/src/runtime/tests.rs
+++ b/crates/net/src/runtime/tests.rs
@@ -15,11 +15,11 @@
 }
 
 /// Random times from 1 ms to about `max_ms` ms, hardly ever the same twice.
-fn random_time(state: &mut u64, max_ms: u64) -> u64 {
+fn random_time(state: &mut u64, max_ms: u64) -> Duration {
     *state = state
         .wrapping_mul(6_364_136_223_846_793_005)
         .wrapping_add(1_442_695_040_888_963_407);
-    1_000_000 + (*state >> 20) % (max_ms * 1_000_000)
+    Duration::from_nanos(1_000_000 + (*state >> 20) % (max_ms * 1_000_000))
 }
 
 /// Thousands of distinct times; without `timer_step` all timers stop after some 5,000 waits.
@@ -33,7 +33,7 @@
         let mut state = i;
         spawn(Stack::Usual, move || {
             for _ in 0..WAITS {
-                sleep(Duration::from_nanos(random_time(&mut state, 30)));
+                sleep(random_time(&mut state, 30));
                 let _ = sender.send(()); // The receiver lives as long.
             }
         });
@@ -69,22 +69,22 @@
     let late = run(|| {
         let (_sender, receiver) = channel::<u8>();
         let wait = |_| {
-            let until = clock::now() + 30_000_000;
+            let until = clock::now() + Duration::from_millis(30);
             assert_eq!(recv_until(&receiver, until), Err(RecvTimeoutError::Timeout));
-            clock::now() - until
+            clock::now().duration_since(until)
         };
-        let mut late: Vec<u64> = (0..20).map(wait).collect();
+        let mut late: Vec<Duration> = (0..20).map(wait).collect();
         late.sort_unstable();
         late[10]
     });
     // A doubled wait is late by as much as it lasts; the median shows whether that is the rule.
-    assert!(late < 25_000_000, "{late} ns late");
+    assert!(late < Duration::from_millis(25), "{late:?} late");
     let received = run(|| {
         let (sender, receiver) = channel();
         sender.send(7).unwrap();
-        let first = recv_until(&receiver, 0);
+        let first = recv_until(&receiver, Time::ZERO);
         drop(sender);
-        (first, recv_until(&receiver, u64::MAX))
+        (first, recv_until(&receiver, Time::MAX))
     });
     assert_eq!(received, (Ok(7), Err(RecvTimeoutError::Disconnected)));
 }
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -2,7 +2,8 @@
 mod connect;
 mod deferred_free;
 
-use crate::clock::after;
+use crate::clock;
+use crankpaddle_time::Time;
 use may::io::WaitIo;
 use may::net::TcpStream;
 use std::io::{self, ErrorKind, Read, Write};
@@ -31,6 +32,7 @@
 /// A TCP connection.
 pub struct Socket {
     stream: ManuallyDrop<Box<TcpStream>>, // Taken out once, on drop.
+    /// Nanoseconds of [`clock::now`].
     expires_at: AtomicU64,
     closed: AtomicBool,
 }
@@ -42,7 +44,7 @@
         let _ = stream.set_nodelay(true); // Without it, it is only slower.
         Socket {
             stream: ManuallyDrop::new(Box::new(stream)),
-            expires_at: AtomicU64::new(u64::MAX),
+            expires_at: AtomicU64::new(Time::MAX.as_nanos()),
             closed: AtomicBool::new(false),
         }
     }
@@ -121,13 +123,13 @@
         self.wake();
     }
 
-    /// Ends this side, reads what the peer still sends, and closes when the peer has ended too or after `timeout`
-    /// nanoseconds.
+    /// Ends this side, reads what the peer still sends, and closes when the peer has ended too or after
+    /// `timeout`.
     ///
     /// Why: if it is closed with bytes unread, the kernel resets the connection and the peer loses what was sent last.
-    pub fn finish(&self, timeout: u64) {
+    pub fn finish(&self, timeout: Duration) {
         let _ = self.stream.shutdown(Shutdown::Write);
-        self.set_expiry(after(timeout));
+        self.set_expiry(clock::now() + timeout);
         let mut discarded = [0u8; FINISH_READ_SIZE];
         while matches!(self.read(&mut discarded), Ok(count) if count > 0) {}
         self.close();
@@ -195,9 +197,9 @@
         retry_interrupted(|| self.stream.inner().peek(&mut byte))
     }
 
-    /// Sets when [`Socket::expire`] closes the connection: nanoseconds of [`crate::clock::now`], `u64::MAX` for never.
-    pub fn set_expiry(&self, at: u64) {
-        self.expires_at.store(at, Ordering::Release);
+    /// Sets when [`Socket::expire`] closes the connection; [`Time::MAX`] for never.
+    pub fn set_expiry(&self, at: Time) {
+        self.expires_at.store(at.as_nanos(), Ordering::Release);
     }
 
     /// Closes the connection if it has expired and nothing is unread.
@@ -205,7 +207,7 @@
     /// Why not with bytes unread: what the peer sent in time may lie unread for long on a busy machine (observed as
     /// set-ups that were closed where fifty processes shared a core); the close would lose it, and reset the connection.
     /// So the reader gets it, and checks [`Socket::is_expired`] if it is not what it waits for.
-    pub fn expire(&self, now: u64) {
+    pub fn expire(&self, now: Time) {
         if self.is_expired(now) && !self.is_closed() && !self.has_unread() {
             self.close();
         }
@@ -213,8 +215,8 @@
 
     /// Whether it has expired.
     #[must_use]
-    pub fn is_expired(&self, now: u64) -> bool {
-        now >= self.expires_at.load(Ordering::Acquire)
+    pub fn is_expired(&self, now: Time) -> bool {
+        now.as_nanos() >= self.expires_at.load(Ordering::Acquire)
     }
 }
 
--- a/crates/net/src/socket/connect.rs
+++ b/crates/net/src/socket/connect.rs
@@ -1,7 +1,8 @@
 //! Connecting without may's own connect.
 use super::Socket;
-use crate::clock::{self, after};
+use crate::clock;
 use crate::runtime::{sleep, MIN_WAIT};
+use crankpaddle_time::Time;
 use may::net::TcpStream;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
@@ -32,7 +33,7 @@
         let protocol = Some(socket2::Protocol::TCP);
         let socket = socket2::Socket::new(domain, socket2::Type::STREAM, protocol)?;
         socket.set_nonblocking(true)?;
-        let deadline = after(timeout.max(MIN_WAIT).as_nanos() as u64);
+        let deadline = clock::now() + timeout.max(MIN_WAIT);
         start_connect(&socket, address)?;
         wait_until_connected(&socket, deadline)?;
         Ok(take_over(socket))
@@ -50,7 +51,7 @@
     error.kind() == ErrorKind::WouldBlock || error.raw_os_error() == Some(IN_PROGRESS)
 }
 
-fn wait_until_connected(socket: &socket2::Socket, deadline: u64) -> io::Result<()> {
+fn wait_until_connected(socket: &socket2::Socket, deadline: Time) -> io::Result<()> {
     let mut pause = MIN_POLL_PAUSE;
     loop {
         if let Some(error) = socket.take_error()? {
@@ -62,7 +63,7 @@
         if clock::now() >= deadline {
             return Err(ErrorKind::TimedOut.into());
         }
-        let remaining = Duration::from_nanos(deadline.saturating_sub(clock::now()));
+        let remaining = deadline.duration_since(clock::now());
         sleep(pause.min(remaining));
         pause = (pause * 2).min(MAX_POLL_PAUSE);
     }
--- a/crates/net/src/socket/deferred_free.rs
+++ b/crates/net/src/socket/deferred_free.rs
@@ -1,18 +1,20 @@
 //! Closed streams that are freed after a delay.
 use crate::{clock, runtime};
+use crankpaddle_time::Time;
 use may::net::TcpStream;
 use std::collections::VecDeque;
 use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
 
-/// How long a closed stream is held, nanoseconds: much longer than a thread may take between handing a coroutine over and
+/// How long a closed stream is held: much longer than a thread may take between handing a coroutine over and
 /// its last read from the stream.
-const DELAY: u64 = 200_000_000;
+const DELAY: Duration = Duration::from_millis(200);
 /// Streams held at most, as each holds a file descriptor.
 const MAX_HELD: usize = 1024;
 
 /// A closed stream.
 struct ClosedStream {
-    closed_at: u64,
+    closed_at: Time,
     stream: Box<TcpStream>,
 }
 
@@ -45,7 +47,7 @@
     }
 }
 
-fn take_due(closed: &mut VecDeque<ClosedStream>, now: u64) -> Vec<ClosedStream> {
+fn take_due(closed: &mut VecDeque<ClosedStream>, now: Time) -> Vec<ClosedStream> {
     let mut due = Vec::new();
     while closed.len() > MAX_HELD || is_oldest_due(closed, now) {
         due.extend(closed.pop_front());
@@ -53,7 +55,7 @@
     due
 }
 
-fn is_oldest_due(closed: &VecDeque<ClosedStream>, now: u64) -> bool {
+fn is_oldest_due(closed: &VecDeque<ClosedStream>, now: Time) -> bool {
     let oldest = closed.front();
-    oldest.is_some_and(|oldest| now.saturating_sub(oldest.closed_at) > DELAY)
+    oldest.is_some_and(|oldest| now.duration_since(oldest.closed_at) > DELAY)
 }
--- a/crates/node/src/connection_table.rs
+++ b/crates/node/src/connection_table.rs
@@ -92,7 +92,7 @@
         {
             return;
         }
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         let least_used = connections
             .values()
             .filter(|connection| !connection.has_pending_work(now, UnreadInput::Include))
--- a/crates/node/src/connection_table/tests.rs
+++ b/crates/node/src/connection_table/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crankpaddle_net::WriteBuffer;
 use crankpaddle_net::{spawn, Socket, Stack};
+use crankpaddle_time::Time;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
@@ -161,8 +162,8 @@
     ));
     table.insert(&connection);
     peer.write_all(b"{").unwrap();
-    socket.set_expiry(1);
-    socket.expire(2);
+    socket.set_expiry(Time(1));
+    socket.expire(Time(2));
     table.close_least_used();
     assert!(!socket.is_closed(), "it is unread");
     assert_eq!(socket.try_read(&mut [0u8; 8]).unwrap(), Some(1));
@@ -170,7 +171,7 @@
     table.close_least_used();
     assert!(!socket.is_closed(), "it is queued");
     connection.queued_messages.store(0, Ordering::Relaxed);
-    socket.expire(2);
+    socket.expire(Time(2));
     assert!(socket.is_closed(), "nothing is pending, and it has expired");
 }
 
--- a/crates/node/src/event_loop/attempt_dispatch.rs
+++ b/crates/node/src/event_loop/attempt_dispatch.rs
@@ -87,7 +87,7 @@
         self.dispatch_queue.push_back(QueuedAttempt {
             attempt: id,
             link,
-            ready_since: clock::now(),
+            ready_since: clock::now().as_nanos(),
         });
     }
 
@@ -124,7 +124,7 @@
         if attempt.state.is_sent() {
             return None;
         }
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         if !self.core.may_send(Time(now), queued.attempt) {
             return Some(DispatchDecision::Withdraw);
         }
@@ -260,7 +260,7 @@
         else {
             return false;
         };
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         let classes = &self.shared.config.fleet.classes;
         let class = classes.get(usize::from(session.class));
         let message = rtsp::set_up(&rtsp::SetUp {
--- a/crates/node/src/event_loop/attempt_lifecycle.rs
+++ b/crates/node/src/event_loop/attempt_lifecycle.rs
@@ -61,7 +61,7 @@
                 self.reset_link(link);
             }
             AttemptState::Sent { link, sent_at } => {
-                let now = clock::now();
+                let now = clock::now().as_nanos();
                 if let Some(at) = self.servers.get_mut(&server) {
                     let expires_at = now.saturating_add(LATE_ANSWER_PERIOD);
                     at.abandoned.insert(session_id, expires_at);
@@ -104,7 +104,7 @@
 
     /// A session that plays at a server already is known from now on.
     pub(super) fn adopt(&mut self, player: PlayerId, attempt: AttemptId, server: ServerId) {
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         let Some(session_id) = self.sessions.get(&player).map(|session| session.session_id) else {
             return;
         };
--- a/crates/node/src/event_loop/client_requests.rs
+++ b/crates/node/src/event_loop/client_requests.rs
@@ -271,7 +271,9 @@
     pub(super) fn set_up_answered(&self, connection: ConnectionId) {
         if let Some(connection) = self.connections.get(&connection) {
             connection.pending_set_ups.fetch_sub(1, Ordering::AcqRel);
-            connection.last_used.store(clock::now(), Ordering::Relaxed);
+            connection
+                .last_used
+                .store(clock::now().as_nanos(), Ordering::Relaxed);
         }
     }
 
--- a/crates/node/src/event_loop/endpoint_list.rs
+++ b/crates/node/src/event_loop/endpoint_list.rs
@@ -29,7 +29,7 @@
 impl EventLoop {
     /// Takes a list over: the core is notified of what has changed.
     pub(super) fn update_endpoints(&mut self, list: List, kind: EndpointListKind) {
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         let SortedList {
             endpoints: listed,
             incompatible,
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -119,7 +119,7 @@
             config.fleet.settings.clone(),
             core_config(&shared),
             config.seed,
-            Time(clock::now()),
+            Time(clock::now().as_nanos()),
         );
         if let Some(observer) = observer {
             core.set_event_observer(observer);
@@ -154,14 +154,14 @@
 
     /// Runs until the node has ended.
     pub(crate) fn run(mut self, inbox: &Receiver<InboxMessage>) {
-        let mut schedule = Schedule::starting_at(clock::now());
+        let mut schedule = Schedule::starting_at(clock::now().as_nanos());
         while !self.has_ended() {
             if self.wait_for_message(inbox, &schedule).is_break() {
                 break;
             }
             self.drain_inbox(inbox);
             self.catch_up_after_stall(inbox);
-            let now = clock::now();
+            let now = clock::now().as_nanos();
             if schedule.maintenance.is_due(now) {
                 self.run_maintenance(now);
             }
@@ -180,7 +180,7 @@
         inbox: &Receiver<InboxMessage>,
         schedule: &Schedule,
     ) -> ControlFlow<()> {
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         let recheck_at = if self.dispatch_queue.is_empty() {
             u64::MAX
         } else {
@@ -193,7 +193,7 @@
         if wake_at <= now {
             return ControlFlow::Continue(());
         }
-        match recv_until(inbox, wake_at) {
+        match recv_until(inbox, Time(wake_at)) {
             Ok(message) => {
                 self.enqueue(message);
                 ControlFlow::Continue(())
@@ -206,7 +206,7 @@
     /// Handles what came while the whole process stood still before anything that fell due meanwhile.
     fn catch_up_after_stall(&mut self, inbox: &Receiver<InboxMessage>) {
         let due_at = self.next_core_expiry();
-        let stalled = drain_after_stall(due_at, || self.drain_inbox(inbox) == MESSAGE_BATCH);
+        let stalled = drain_after_stall(Time(due_at), || self.drain_inbox(inbox) == MESSAGE_BATCH);
         if stalled {
             tracing::warn!("event loop stalled");
         }
--- a/crates/node/src/event_loop/server_links.rs
+++ b/crates/node/src/event_loop/server_links.rs
@@ -46,7 +46,7 @@
         };
         if at.is_listed {
             at.unsent.push_back(UnsentMessage {
-                expires_at: clock::now().saturating_add(RELEASE_RETRY_PERIOD),
+                expires_at: clock::now().as_nanos().saturating_add(RELEASE_RETRY_PERIOD),
                 bytes,
             });
         }
@@ -61,7 +61,8 @@
         self.last_link += 1;
         let link = LinkId(self.last_link);
         server.links.insert(0, link);
-        self.links.insert(link, Link::connecting(id, clock::now()));
+        self.links
+            .insert(link, Link::connecting(id, clock::now().as_nanos()));
         server_connector::connect(&self.shared, link, server.address);
         Some(link)
     }
@@ -92,7 +93,7 @@
         id: LinkId,
         result: Result<Arc<WriteBuffer>, ConnectFailure>,
     ) {
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         let Some(link) = self.links.get(&id) else {
             // It was closed meanwhile.
             if let Ok(outbox) = result {
@@ -276,7 +277,7 @@
         for attempt in link.pending {
             self.fail_pending(attempt, server_id, outcome);
         }
-        self.ensure_observed(server_id, clock::now());
+        self.ensure_observed(server_id, clock::now().as_nanos());
     }
 
     /// An attempt without an answer loses its link.
--- a/crates/node/src/event_loop/set_up_responses.rs
+++ b/crates/node/src/event_loop/set_up_responses.rs
@@ -24,7 +24,7 @@
         status: u16,
         message: &rtsp::Message,
     ) {
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         let Some(attempt) = known.filter(|id| self.is_awaiting_answer_on(*id, link)) else {
             let is_accepted_unknown = known.is_none() && status == status::OK;
             return self.handle_unexpected_response(link, server, is_accepted_unknown, message);
--- a/crates/node/src/event_loop/shutdown.rs
+++ b/crates/node/src/event_loop/shutdown.rs
@@ -19,7 +19,7 @@
             return;
         }
         tracing::info!(counts = ?self.shared.counts(), "draining");
-        self.drain_started_at = Some(clock::now());
+        self.drain_started_at = Some(clock::now().as_nanos());
         self.notify_core(Input::Drain);
     }
 
@@ -38,7 +38,7 @@
         let Some(started_at) = self.drain_started_at else {
             return true;
         };
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         let is_over = |period| now > started_at.saturating_add(period);
         if !is_over(ARRIVAL_PERIOD)
             || self.core.waiting() > 0
--- a/crates/node/src/viewer_reader.rs
+++ b/crates/node/src/viewer_reader.rs
@@ -3,6 +3,7 @@
 use crate::viewer_connection::ViewerConnection;
 use crankpaddle_net::{clock, Socket, WriteBuffer};
 use crankpaddle_node_protocol::viewers::{self, Decoder};
+use crankpaddle_time::Time;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
@@ -30,9 +31,9 @@
 
 /// Reads a viewer's connection until it ends.
 pub(crate) fn serve(socket: Socket, _slot: &ConnectionSlot, shared: &Arc<Shared>) {
-    let now = clock::now();
+    let now = clock::now().as_nanos();
     let socket = Arc::new(socket);
-    socket.set_expiry(now.saturating_add(MESSAGE_TIMEOUT));
+    socket.set_expiry(Time(now.saturating_add(MESSAGE_TIMEOUT)));
     shared.sweeper.watch(&socket);
     let outbox = WriteBuffer::new(socket.clone(), shared.budget.outbox);
     let id = shared.connections.next_id();
@@ -72,7 +73,7 @@
 
     /// Passes the messages in `bytes` on; false when the connection is to be closed.
     fn handle_bytes(&mut self, bytes: &[u8]) -> bool {
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         let decoded = self.decoder.feed(bytes, &mut self.messages);
         let has_complete_message = !self.messages.is_empty();
         if has_complete_message {
@@ -85,12 +86,12 @@
         }
         self.watch_partial_message(now, has_complete_message);
         // False: it sends something, and not in time what it is to send.
-        !self.connection.outbox.socket().is_expired(now)
+        !self.connection.outbox.socket().is_expired(Time(now))
     }
 
     fn pass_messages_on(&mut self, now: u64) {
         let connection = self.connection;
-        connection.outbox.socket().set_expiry(u64::MAX);
+        connection.outbox.socket().set_expiry(Time::MAX);
         connection.has_sent_message.store(true, Ordering::Relaxed);
         connection.last_used.store(now, Ordering::Relaxed);
         connection
@@ -112,7 +113,7 @@
         let is_new = has_complete_message || !self.has_partial_message;
         if is_partial && is_new {
             let deadline = connection.message_deadline(now, MESSAGE_TIMEOUT);
-            connection.outbox.socket().set_expiry(deadline);
+            connection.outbox.socket().set_expiry(Time(deadline));
         }
         self.has_partial_message = is_partial;
         connection
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -5,7 +5,9 @@
 use crate::load::LOW_MARK;
 use crate::outliers::slow_start_interval;
 use crate::regions::HEADROOM_MARK;
-use crate::state::{Accounting, Actions, Offer, PlacementPolicy, RequestKind, Server, SessionChange};
+use crate::state::{
+    Accounting, Actions, Nanoseconds, Offer, PlacementPolicy, RequestKind, Server, SessionChange,
+};
 
 pub(crate) const RECENT_REQUESTS: usize = 100; // Requests whose class and rung are remembered.
 const HALF_SLOT: f64 = 0.5; // Rates are rough: a region counts as full half a slot later.
--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -1,7 +1,9 @@
 //! What follows from the outcome of an attempt: for its server, for its session and for the request.
 use crate::interface::{AttemptOutcome, RequestId, ServerId, SessionRequest, Time};
 use crate::policy::STALL;
-use crate::state::{Accounting, Actions, EndedAttempt, PlacementPolicy, SessionChange, SessionState, SECOND};
+use crate::state::{
+    Accounting, Actions, EndedAttempt, Nanoseconds, PlacementPolicy, SessionChange, SessionState, SECOND,
+};
 
 const SETUP_TIME_WEIGHT: f64 = 0.05; // Weight of a new set-up time against the mean.
 const SETUP_TIME_MAX: f64 = SECOND as f64; // It counts for this at most, nanoseconds.
--- a/crates/policy/src/interface/ids.rs
+++ b/crates/policy/src/interface/ids.rs
@@ -1,4 +1,4 @@
-//! Identifiers and points in time.
+//! Identifiers.
 
 /// A media server, the same for every replica.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -7,7 +7,3 @@
 /// One request for a session; a viewer's retry is a new one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
-
-/// A point on a clock that only increases, in nanoseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Time(pub u64);
--- a/crates/policy/src/invariants.rs
+++ b/crates/policy/src/invariants.rs
@@ -1,7 +1,7 @@
 //! Guards on attempts: whatever was chosen, they bound what may be sent, when and where.
 use crate::interface::{Class, Idempotency, Lifecycle, RequestId, RetryScope, SessionRequest, Time};
 use crate::outliers::admission_slot;
-use crate::state::{PlacementPolicy, Server, Session, SessionState};
+use crate::state::{Nanoseconds, PlacementPolicy, Server, Session, SessionState};
 
 impl PlacementPolicy {
     /// Whether an attempt that waits for its connection may still be sent: its server takes new work, and its
--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -1,7 +1,7 @@
 //! Estimates of load: what is asked of links and uplinks, from measurements and own changes.
 use crate::interface::{LoadField, LoadReport, RequestId, ServerId, SessionUpdate, Time};
 use crate::state::{
-    FleetAggregates, LoadEstimate, OwnChange, PlacementPolicy, Server, ShortDelivery, SECOND,
+    FleetAggregates, LoadEstimate, Nanoseconds, OwnChange, PlacementPolicy, Server, ShortDelivery, SECOND,
 };
 
 pub(crate) const LOW_MARK: f64 = 0.8; // Fill of link and uplink below which the best rung that fits is given.
--- a/crates/policy/src/outliers.rs
+++ b/crates/policy/src/outliers.rs
@@ -1,7 +1,7 @@
 //! Servers that fail or warm up: ejection, trials, and admission slots during slow start.
 use crate::interface::{Lifecycle, ServerId, Settings, Time};
 use crate::regions::MAX_PLACES;
-use crate::state::{PlacementPolicy, Server, SECOND};
+use crate::state::{Nanoseconds, PlacementPolicy, Server, SECOND};
 
 const EJECTION_MIN: u64 = SECOND; // First ejection of a server that failed, nanoseconds.
 const EJECTION_MAX: u64 = 8 * SECOND; // It doubles with each up to this.
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1,7 +1,7 @@
 //! What one session controller does on each event and each second.
 use crate::interface::{Action, Endpoint, EndpointListKind, Event, Time};
 use crate::regions::REPRESENTATIVE_SESSIONS;
-use crate::state::{Actions, EndedAttempt, PlacementPolicy, SECOND};
+use crate::state::{Actions, EndedAttempt, Nanoseconds, PlacementPolicy, SECOND};
 
 pub(crate) const STALL: u64 = SECOND / 2; // A timer later than this shows that we stood still, nanoseconds.
 pub(crate) const INITIAL_SESSION_SECONDS: f64 = 30.0; // Length of a session assumed at first ...
--- a/crates/policy/src/promotion.rs
+++ b/crates/policy/src/promotion.rs
@@ -1,6 +1,6 @@
 //! Promotion of sessions to higher rungs where slots are free, and demotion where a link is overrun.
 use crate::interface::{Action, CrossZonePolicy, RequestId, ServerId, Time};
-use crate::state::{Actions, Demotion, PlacementPolicy, Server, Session, SECOND};
+use crate::state::{Actions, Demotion, Nanoseconds, PlacementPolicy, Server, Session, SECOND};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
--- a/crates/policy/src/regions.rs
+++ b/crates/policy/src/regions.rs
@@ -3,8 +3,8 @@
 use crate::interface::{ServerId, Time};
 use crate::policy::INITIAL_SESSION_SECONDS;
 use crate::state::{
-    log_step, step_value, PlacementPolicy, RegionKey, RequestKind, SlotBudget, Split, UplinkGroup, SECOND,
-    TOLERANCE,
+    log_step, step_value, Nanoseconds, PlacementPolicy, RegionKey, RequestKind, SlotBudget, Split,
+    UplinkGroup, SECOND, TOLERANCE,
 };
 
 pub(crate) const HEADROOM_MARK: f64 = 0.9; // Part of a link or uplink that slots may fill.
--- a/crates/policy/src/state/fleet.rs
+++ b/crates/policy/src/state/fleet.rs
@@ -1,4 +1,5 @@
 //! Load of links and uplinks, and figures of the fleet as a whole.
+use super::Nanoseconds;
 use crate::interface::Time;
 use std::collections::VecDeque;
 
--- a/crates/policy/src/state/mod.rs
+++ b/crates/policy/src/state/mod.rs
@@ -15,7 +15,7 @@
 pub(crate) use server::{Server, ShortDelivery};
 pub(crate) use session::{Demotion, EndedAttempt, Offer, RequestKind, Session, SessionState};
 pub(crate) use slots::{log_step, step_value, RegionKey, SlotBudget, Split, TOLERANCE};
-pub(crate) use time::SECOND;
+pub(crate) use time::{Nanoseconds, SECOND};
 
 /// What is to be done, in order.
 pub(crate) type Actions = Vec<crate::interface::Action>;
--- a/crates/policy/src/state/server.rs
+++ b/crates/policy/src/state/server.rs
@@ -1,5 +1,5 @@
 //! A media server as one replica sees it.
-use super::LoadEstimate;
+use super::{LoadEstimate, Nanoseconds};
 use crate::interface::{Endpoint, Lifecycle, RequestId, Time};
 use std::collections::BTreeSet;
 
--- a/crates/policy/src/state/time.rs
+++ b/crates/policy/src/state/time.rs
@@ -1,22 +1,31 @@
-//! Arithmetic on points in time. Neither end of the range overflows.
+//! Arithmetic on points in time in nanoseconds, the unit of the settings. Neither end of the range overflows.
 use crate::interface::Time;
 
 /// A second in nanoseconds.
 pub(crate) const SECOND: u64 = 1_000_000_000;
 
-impl Time {
+/// Distances between points in time.
+pub(crate) trait Nanoseconds {
     /// The point `duration` nanoseconds later.
-    pub(crate) fn plus(self, duration: u64) -> Time {
+    fn plus(self, duration: u64) -> Time;
+
+    /// Nanoseconds since `earlier`; 0 if it is not earlier.
+    fn since(self, earlier: Time) -> u64;
+
+    /// Seconds since `earlier`; 0 if it is not earlier.
+    fn seconds_since(self, earlier: Time) -> f64;
+}
+
+impl Nanoseconds for Time {
+    fn plus(self, duration: u64) -> Time {
         Time(self.0.saturating_add(duration))
     }
 
-    /// Nanoseconds since `earlier`; 0 if it is not earlier.
-    pub(crate) fn since(self, earlier: Time) -> u64 {
+    fn since(self, earlier: Time) -> u64 {
         self.0.saturating_sub(earlier.0)
     }
 
-    /// Seconds since `earlier`; 0 if it is not earlier.
-    pub(crate) fn seconds_since(self, earlier: Time) -> f64 {
+    fn seconds_since(self, earlier: Time) -> f64 {
         self.since(earlier) as f64 / SECOND as f64
     }
 }
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -143,7 +143,7 @@
     }
 
     fn now(&self) -> u64 {
-        clock::now()
+        clock::now().as_nanos()
     }
 
     fn run(&mut self, time: u64) {
@@ -220,7 +220,7 @@
     }
 
     fn sent(&self) -> Rate {
-        let time = (clock::now() - self.began).max(1) as f64 / SECOND as f64;
+        let time = (clock::now().as_nanos() - self.began).max(1) as f64 / SECOND as f64;
         let rate = |i| {
             let sent = self.mesh.sent(i);
             (sent.0 as f64 / time, sent.1 as f64 / time)
@@ -249,7 +249,7 @@
     let all: Vec<usize> = (0..harness.processes.len()).collect();
     harness.stop(&all, false);
     players.leave();
-    let deadline = clock::now() + PLAYERS_LEAVE_WITHIN;
+    let deadline = clock::now().as_nanos() + PLAYERS_LEAVE_WITHIN;
     faults.extend(wait_for_players(&players, deadline));
     // Why: nobody ends the sessions of a front that was killed.
     if !any_front_died(&stage.recorder) {
@@ -305,7 +305,7 @@
             processes: (0..fronts).map(|_| None).collect(),
             stopped: vec![false; fronts],
             others: vec![false; fronts],
-            began: clock::now(),
+            began: clock::now().as_nanos(),
             hosts,
             players: Arc::new(players),
         })
--- a/crates/testbed/src/fleet/arrivals.rs
+++ b/crates/testbed/src/fleet/arrivals.rs
@@ -53,9 +53,9 @@
     views: &Views,
     over: &AtomicBool,
 ) {
-    let start = clock::now();
+    let start = clock::now().as_nanos();
     for (at, mut visit) in visits {
-        let wait = (start + at).saturating_sub(clock::now());
+        let wait = (start + at).saturating_sub(clock::now().as_nanos());
         std::thread::sleep(Duration::from_nanos(wait));
         if over.load(Ordering::Acquire) {
             return;
@@ -65,7 +65,7 @@
             continue;
         }
         let players = players.clone();
-        let until = clock::now() + visit.patience + visit.watch;
+        let until = clock::now().as_nanos() + visit.patience + visit.watch;
         spawn(Stack::Usual, move || players.visit(&visit, until));
     }
 }
--- a/crates/testbed/src/list_service.rs
+++ b/crates/testbed/src/list_service.rs
@@ -132,7 +132,7 @@
 
     /// Changes an entry; fronts receive it after the delay.
     pub fn change(&self, entry: EndpointEntry) {
-        let due = clock::now() + self.delay.load(Ordering::Acquire);
+        let due = clock::now().as_nanos() + self.delay.load(Ordering::Acquire);
         let change = DelayedChange { due, entry };
         lock(&self.state).delayed.push_back(change);
     }
@@ -142,7 +142,7 @@
         let mut last_heartbeat = 0;
         loop {
             sleep(TICK);
-            let now = clock::now();
+            let now = clock::now().as_nanos();
             let heartbeat_due = now >= last_heartbeat + HEARTBEAT_INTERVAL;
             if heartbeat_due {
                 last_heartbeat = now;
@@ -189,7 +189,7 @@
     /// Serves a front's stream of events until the front closes it.
     fn serve(&self, socket: &Arc<Socket>) {
         let mut exchange = HttpExchange::new(socket.clone());
-        let Ok((request, _)) = exchange.request(MAX_BODY, 0) else {
+        let Ok((request, _)) = exchange.request(MAX_BODY, None) else {
             return;
         };
         let (path, query) = request.path();
--- a/crates/testbed/src/membership_poll.rs
+++ b/crates/testbed/src/membership_poll.rs
@@ -103,7 +103,7 @@
         let Ok(body) = crankpaddle_traffic_report::get(&address, "/members", POLL_TIMEOUT) else {
             return;
         };
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         let Ok(members) = serde_json::from_slice::<Members>(&body) else {
             let missed = format!("front {front} told of no members");
             self.lock().missed.push(missed);
--- a/crates/testbed/src/player/attempt.rs
+++ b/crates/testbed/src/player/attempt.rs
@@ -70,7 +70,7 @@
                 Outcome::MayReturn { retry_after: None }
             };
         };
-        let deadline = clock::now() + attempt.visit.patience;
+        let deadline = clock::now().as_nanos() + attempt.visit.patience;
         let mut call = self.send_open(&mut client, attempt, deadline);
         if rng.random_bool(self.habits.reconnect) {
             sleep(Duration::from_nanos(rng.random_range(1..150) * MILLISECOND));
@@ -81,7 +81,7 @@
             call = self.send_open(&mut client, attempt, deadline);
         }
         let answer = self.wait_for_answer(&mut client, call, deadline);
-        let disconnected = clock::now() < deadline + LATE_ANSWER_WINDOW;
+        let disconnected = clock::now().as_nanos() < deadline + LATE_ANSWER_WINDOW;
         match answer {
             Some(event) => self.on_answer(event, client, attempt),
             None if self.habits.keeps_key && disconnected => {
@@ -101,7 +101,7 @@
             class: attempt.visit.class.0,
             deadline,
         });
-        let open = attempt.open(deadline.saturating_sub(clock::now()));
+        let open = attempt.open(deadline.saturating_sub(clock::now().as_nanos()));
         let _ = client.send(client::open(call, &open)); // Its failure shows when the answer is read.
         call
     }
@@ -184,7 +184,7 @@
     ) -> Outcome {
         let visit = attempt.visit;
         self.losses().watches(visit.seed, visit.class.0);
-        let left = attempt.until.saturating_sub(clock::now());
+        let left = attempt.until.saturating_sub(clock::now().as_nanos());
         let outcome = self.watch(client, session, media, visit.watch.min(left));
         if !matches!(outcome, Outcome::Watched) {
             self.losses().is_cut_off(visit.seed, visit.class.0);
--- a/crates/testbed/src/player/client.rs
+++ b/crates/testbed/src/player/client.rs
@@ -5,10 +5,12 @@
 use crankpaddle_net::{clock, IdleSweeper, Socket, WriteBuffer};
 use crankpaddle_session_api::client::{self, ClientEvent};
 use crankpaddle_session_api::Version;
+use crankpaddle_time::Time;
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tungstenite::handshake::client::generate_key;
 use tungstenite::handshake::derive_accept_key;
 use tungstenite::protocol::{Role, WebSocketConfig, WebSocketContext};
@@ -60,7 +62,7 @@
     /// The front can't be reached or refuses the handshake.
     pub fn connect(address: &SocketAddr, sweeper: &IdleSweeper) -> io::Result<Client> {
         let socket = Arc::new(Socket::connect(address, CONNECT_TIMEOUT)?);
-        socket.set_expiry(clock::now() + CONNECT_TIMEOUT.as_nanos() as u64);
+        socket.set_expiry(clock::now() + CONNECT_TIMEOUT);
         sweeper.watch(&socket);
         let key = generate_key();
         let fields = [
@@ -85,7 +87,7 @@
                 answer.status
             )));
         }
-        socket.set_expiry(u64::MAX);
+        socket.set_expiry(Time::MAX);
         let config = WebSocketConfig::default()
             .read_buffer_size(1024)
             .write_buffer_size(0);
@@ -140,16 +142,16 @@
             if let Some(event) = self.poll()? {
                 return Ok(event);
             }
-            let now = clock::now();
+            let now = clock::now().as_nanos();
             if now >= until {
                 return Err(ErrorKind::TimedOut.into());
             }
-            self.outbox.socket().set_expiry(until);
+            self.outbox.socket().set_expiry(Time(until));
             self.outbox.socket().wait();
-            if self.outbox.socket().is_closed() && clock::now() >= until {
+            if self.outbox.socket().is_closed() && clock::now().as_nanos() >= until {
                 return Err(ErrorKind::TimedOut.into());
             }
-            self.outbox.socket().set_expiry(u64::MAX);
+            self.outbox.socket().set_expiry(Time::MAX);
         }
     }
 
@@ -161,6 +163,8 @@
     /// Closes the connection with a WebSocket close.
     pub fn close(mut self) {
         let _ = self.context.close(&mut Stream(&self.outbox), None); // The front may have closed it already.
-        self.outbox.socket().finish(CLOSE_TIMEOUT);
+        self.outbox
+            .socket()
+            .finish(Duration::from_nanos(CLOSE_TIMEOUT));
     }
 }
--- a/crates/testbed/src/player/mod.rs
+++ b/crates/testbed/src/player/mod.rs
@@ -106,7 +106,7 @@
     }
 
     fn stays(&self, until: u64) -> bool {
-        clock::now() < until && !self.leaving.load(Ordering::Acquire)
+        clock::now().as_nanos() < until && !self.leaving.load(Ordering::Acquire)
     }
 
     /// Marks the power loss: a player that is cut off from now on has lost its session to it.
@@ -146,7 +146,7 @@
     pub fn visit(&self, visit: &Visit, until: u64) {
         self.present.fetch_add(1, Ordering::AcqRel);
         let mut rng = StdRng::seed_from_u64(visit.seed);
-        let until = until.min(clock::now() + visit.watch + visit.patience);
+        let until = until.min(clock::now().as_nanos() + visit.watch + visit.patience);
         let mut returning = false;
         while self.stays(until) {
             let retry_after = match self.attempt_until_answered(visit, until, returning, &mut rng) {
--- a/crates/testbed/src/player/watch.rs
+++ b/crates/testbed/src/player/watch.rs
@@ -6,6 +6,7 @@
 use crankpaddle_net::exchange::HttpExchange;
 use crankpaddle_net::{clock, sleep, IdleSweeper, Socket};
 use crankpaddle_session_api::client::{self, ClientEvent};
+use crankpaddle_time::Time;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -71,7 +72,7 @@
         media: &str,
         time: u64,
     ) -> Outcome {
-        let until = clock::now() + time;
+        let until = clock::now().as_nanos() + time;
         let Some(location) = MediaLocation::parse(media) else {
             return Outcome::DoesNotReturn;
         };
@@ -89,7 +90,7 @@
                 sleep(FETCH_RETRY_INTERVAL);
             }
             let received = receive(&mut client);
-            if received.disconnected && self.habits.keeps_key && clock::now() < until {
+            if received.disconnected && self.habits.keeps_key && clock::now().as_nanos() < until {
                 self.recorder.see(Seen::Fetched { name, bytes });
                 return Outcome::FrontLost;
             }
@@ -107,7 +108,7 @@
     fn close_session(&self, mut client: Client, session: &str) {
         let call = self.next_call.fetch_add(1, Ordering::Relaxed);
         let _ = client.send(client::close(call, session)); // Without its front the session is over too.
-        let deadline = clock::now() + CLOSE_TIMEOUT;
+        let deadline = clock::now().as_nanos() + CLOSE_TIMEOUT;
         while let Ok(event) = client.next(deadline) {
             if matches!(event, ClientEvent::Closed { id } | ClientEvent::Unknown { id } if id == call)
             {
@@ -168,7 +169,7 @@
                 none.insert(HttpExchange::new(socket))
             }
         };
-        exchange.socket.set_expiry(until + SEGMENT_GRACE);
+        exchange.socket.set_expiry(Time(until + SEGMENT_GRACE));
         let host = location.address.to_string();
         let request = head::request("GET", &location.target, &host, &[], b"");
         exchange.socket.write_all(&request).ok()?;
--- a/crates/testbed/src/record.rs
+++ b/crates/testbed/src/record.rs
@@ -184,7 +184,7 @@
     /// Adds an event with the present time.
     pub fn see(&self, seen: Seen) {
         let mut records = self.lock();
-        let at = clock::now();
+        let at = clock::now().as_nanos();
         records.push(Record { at, seen });
     }
 
--- a/crates/testbed/src/scenario_runner/mod.rs
+++ b/crates/testbed/src/scenario_runner/mod.rs
@@ -146,7 +146,7 @@
     let config = &stage.config;
     let peering = Peering::start(day, play)?;
     let mut fronts = start_fronts(day, play, &stage, peering.as_ref())?;
-    let start = clock::now();
+    let start = clock::now().as_nanos();
     let run_result = timeline::run(day, play, &stage, &fronts);
     let addresses = fronts.iter().map(|front| &front.process.address);
     let reported = merge(addresses.filter_map(settled_report));
--- a/crates/testbed/src/scenario_runner/stage.rs
+++ b/crates/testbed/src/scenario_runner/stage.rs
@@ -59,7 +59,7 @@
     fn change_listing(&self, server: u32, state: EndpointState) {
         let address = self.fleet.servers[server as usize].address;
         let started_ms = if state == EndpointState::Ready {
-            clock::now() / MILLISECOND
+            clock::now().as_nanos() / MILLISECOND
         } else {
             0
         };
--- a/crates/testbed/src/scenario_runner/timeline.rs
+++ b/crates/testbed/src/scenario_runner/timeline.rs
@@ -58,7 +58,7 @@
             .into_iter()
             .peekable(),
         fronts_by_zone: zones.map(|zone| fronts_for_zone(fronts, zone)).collect(),
-        start: clock::now(),
+        start: clock::now().as_nanos(),
     };
     let deadline = timeline.start + day.length + PLAYERS_LEAVE_WITHIN;
     timeline.run_to_end()?;
@@ -115,7 +115,7 @@
             let Some(next) = next_transition.into_iter().chain(next_visit).min() else {
                 return Ok(());
             };
-            let wait = (self.start + next).saturating_sub(clock::now());
+            let wait = (self.start + next).saturating_sub(clock::now().as_nanos());
             std::thread::sleep(Duration::from_nanos(wait));
             if next_transition == Some(next) {
                 self.apply_next_transition()?;
--- a/crates/testbed/src/server/fleet.rs
+++ b/crates/testbed/src/server/fleet.rs
@@ -151,7 +151,7 @@
     pub fn restart(self: &Arc<Fleet>, id: u32) -> io::Result<()> {
         let server = &self.servers[id as usize];
         let listener = listen_once_free(server.address)?;
-        lock(&self.model).start(id as usize, clock::now());
+        lock(&self.model).start(id as usize, clock::now().as_nanos());
         *lock(&server.mode) = Mode::default();
         server.begin_incarnation();
         let places = f64::from(self.config.settings.stream_capacity[0]);
@@ -198,10 +198,12 @@
 }
 
 fn listen_once_free(address: SocketAddr) -> io::Result<TcpListener> {
-    let deadline = clock::now() + PORT_FREE_WITHIN;
+    let deadline = clock::now().as_nanos() + PORT_FREE_WITHIN;
     loop {
         match listen(address) {
-            Err(e) if e.kind() == io::ErrorKind::AddrInUse && clock::now() < deadline => {
+            Err(e)
+                if e.kind() == io::ErrorKind::AddrInUse && clock::now().as_nanos() < deadline =>
+            {
                 std::thread::sleep(LISTEN_RETRY_INTERVAL);
             }
             result => return result,
--- a/crates/testbed/src/server/mod.rs
+++ b/crates/testbed/src/server/mod.rs
@@ -105,7 +105,8 @@
     fn begin_incarnation(&self) {
         let incarnation = self.incarnation.fetch_add(1, Ordering::AcqRel) + 1;
         lock(&self.ledger).started(incarnation);
-        self.started_at.store(clock::now(), Ordering::Release);
+        self.started_at
+            .store(clock::now().as_nanos(), Ordering::Release);
     }
 
     fn listen(self: &Arc<Server>, fleet: &Arc<Fleet>, listener: TcpListener) {
@@ -173,7 +174,7 @@
     /// Serves the requests of a connection until it ends.
     fn serve(self: &Arc<Server>, fleet: &Arc<Fleet>, socket: &Arc<Socket>) {
         let mut exchange = HttpExchange::new(socket.clone());
-        while let Ok((request, body)) = exchange.request(MAX_BODY, 0) {
+        while let Ok((request, body)) = exchange.request(MAX_BODY, None) {
             while self.mode().vanished {
                 if socket.is_closed() {
                     return;
--- a/crates/testbed/src/server/sessions.rs
+++ b/crates/testbed/src/server/sessions.rs
@@ -34,7 +34,9 @@
 
     /// Nanoseconds since the server's process started.
     pub(super) fn age(&self) -> u64 {
-        clock::now().saturating_sub(self.started_at.load(Ordering::Acquire))
+        clock::now()
+            .as_nanos()
+            .saturating_sub(self.started_at.load(Ordering::Acquire))
     }
 
     pub(super) fn set_rung(&self, fleet: &Fleet, name: &str, body: &[u8]) -> Vec<u8> {
--- a/crates/testbed/src/server/set_up.rs
+++ b/crates/testbed/src/server/set_up.rs
@@ -135,8 +135,12 @@
     /// Reserves capacity; the time at which the work of the set-up is done.
     fn reserve(&self, stream: u64, class: usize) -> Result<u64, Unsuccessful> {
         let rate = self.fleet.rate(class, self.order.rung);
-        let taken =
-            lock(&self.fleet.model).set_up(self.server.id as usize, stream, rate, clock::now());
+        let taken = lock(&self.fleet.model).set_up(
+            self.server.id as usize,
+            stream,
+            rate,
+            clock::now().as_nanos(),
+        );
         match taken {
             Taken::DoneAt(time) => Ok(time),
             Taken::Full => {
@@ -159,8 +163,11 @@
     /// Waits until the work is done, or for as long as the server hangs; whether the set-up was billed meanwhile.
     fn work_until(&self, done_at: u64, paid: bool) -> Result<bool, Unsuccessful> {
         let mut billed = false;
-        while clock::now() < done_at || self.server.mode().hangs || self.server.mode().vanished {
-            if self.mode.hangs && clock::now() >= done_at && !billed && paid {
+        while clock::now().as_nanos() < done_at
+            || self.server.mode().hangs
+            || self.server.mode().vanished
+        {
+            if self.mode.hangs && clock::now().as_nanos() >= done_at && !billed && paid {
                 // Why: this is the fault under test, a session that ran although nobody is notified.
                 billed = true;
                 self.server.bill(self.fleet, self.name, &self.order);
--- a/crates/testbed/src/server/streams.rs
+++ b/crates/testbed/src/server/streams.rs
@@ -49,7 +49,9 @@
             // The segment takes longer by as much as the share is short.
             let share = lock(&fleet.model).share(self.id as usize);
             due += (fleet.segment as f64 / count as f64 / share) as u64;
-            sleep(Duration::from_nanos(due.saturating_sub(clock::now())));
+            sleep(Duration::from_nanos(
+                due.saturating_sub(clock::now().as_nanos()),
+            ));
             let length = piece.len().min(left);
             let silent = self.mode().vanished || self.mode().hangs;
             if !self.count_sent(name, if silent { 0 } else { length as u64 }) {
@@ -69,7 +71,7 @@
     /// When the pieces of the next segment are counted from.
     fn segment_start(&self, name: &str) -> u64 {
         let previous_due = lock(&self.sessions).get(name).map_or(0, |s| s.media_due);
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         if now.saturating_sub(previous_due) < SCHEDULE_GAP {
             previous_due
         } else {
--- a/crates/testbed/src/server_reports.rs
+++ b/crates/testbed/src/server_reports.rs
@@ -134,7 +134,7 @@
             self.queue.messages.clear();
             return;
         }
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         let fault = self.server.mode().response_fault;
         let settings = &self.fleet.config.settings;
         let due = now + settings.update_delay;
--- a/crates/testbed/src/udp_proxy.rs
+++ b/crates/testbed/src/udp_proxy.rs
@@ -213,7 +213,7 @@
     fn step(&mut self) -> io::Result<()> {
         let next = self.in_transit.peek();
         let due = next.map_or(u64::MAX, |Reverse(datagram)| datagram.arrives_at);
-        let wait = due.saturating_sub(clock::now()).min(MAX_WAIT);
+        let wait = due.saturating_sub(clock::now().as_nanos()).min(MAX_WAIT);
         for index in self.wait_for_events(wait)? {
             self.read(index);
         }
@@ -262,7 +262,7 @@
             .bytes
             .fetch_add(bytes.len() as u64, Ordering::Relaxed);
         self.front_addresses[from] = Some(sender);
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         let arrivals = self
             .conditions
             .arrivals(now, Link { from, to }, bytes.len(), &mut self.rng);
@@ -279,7 +279,7 @@
     }
 
     fn deliver_due(&mut self) {
-        let now = clock::now();
+        let now = clock::now().as_nanos();
         while let Some(Reverse(next)) = self.in_transit.peek() {
             if next.arrives_at > now {
                 return;
--- a/crates/testbed/src/wind_down.rs
+++ b/crates/testbed/src/wind_down.rs
@@ -11,7 +11,7 @@
 
 /// Waits until no player is there; the fault where some are left at the deadline.
 pub(crate) fn wait_for_players(players: &PlayerPool, deadline: u64) -> Option<String> {
-    while players.there() > 0 && clock::now() < deadline {
+    while players.there() > 0 && clock::now().as_nanos() < deadline {
         std::thread::sleep(CHECK_INTERVAL);
     }
     let left = players.there();
@@ -21,8 +21,8 @@
 /// Waits until the servers have no streams: a front ends sessions of absent players after the resume window. The fault
 /// where some are left.
 pub(crate) fn wait_for_streams(fleet: &Fleet) -> Option<String> {
-    let deadline = clock::now() + fleet.config.terms.resume_window + SESSION_END_GRACE;
-    while fleet.streams() > 0 && clock::now() < deadline {
+    let deadline = clock::now().as_nanos() + fleet.config.terms.resume_window + SESSION_END_GRACE;
+    while fleet.streams() > 0 && clock::now().as_nanos() < deadline {
         std::thread::sleep(CHECK_INTERVAL);
     }
     let left = fleet.streams();
--- /dev/null
+++ b/crates/time/tests/arithmetic.rs
@@ -0,0 +1,23 @@
+//! Arithmetic on points in time, at the ends of the range too.
+use crankpaddle_time::{nanoseconds, Time};
+use std::time::Duration;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+#[test]
+fn a_duration_is_the_distance_between_two_points() {
+    let start = Time(5);
+    let later = start + SECOND;
+    assert_eq!(later, Time(1_000_000_005));
+    assert_eq!(later.duration_since(start), SECOND);
+    assert_eq!(start.duration_since(later), Duration::ZERO);
+    assert_eq!(later - SECOND, start);
+}
+
+#[test]
+fn nothing_overflows() {
+    assert_eq!(Time::MAX + SECOND, Time::MAX);
+    assert_eq!(Time(1) + Duration::MAX, Time::MAX);
+    assert_eq!(Time(1) - SECOND, Time::ZERO);
+    assert_eq!(nanoseconds(Duration::MAX), u64::MAX);
+}
