Policy: the search's trade and its tolerance stand among the decisions, the list entry's upkeep in the state

Cause: trading slots between regions is a step of the search that sizes them, and its tolerance a chosen value, but both stood in state/slots.rs, outside the files that the deploy file names as the policy.

Change: RegionSearch::trade and TOLERANCE are in regions.rs; the budget of a search includes the tolerance, so that SlotBudget only adds and compares.

--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -1,7 +1,8 @@
 //! Estimates of load: what is asked of links and uplinks, from measurements and own changes.
 use crate::interface::{LoadField, LoadReport, RequestId, ServerId, SessionUpdate, Time};
 use crate::state::{
-    FleetAggregates, LoadEstimate, Nanoseconds, OwnChange, PlacementPolicy, Server, ShortDelivery, SECOND,
+    weighted_mean, FleetAggregates, LoadEstimate, Nanoseconds, OwnChange, PlacementPolicy, Server,
+    ShortDelivery, SECOND,
 };
 
 pub(crate) const LOW_MARK: f64 = 0.8; // Fill of link and uplink below which the best rung that fits is given.
@@ -63,13 +64,7 @@
 
 /// Mean of the fills that were measured, weighted by freshness.
 fn mean_measured<'a>(now: Option<Time>, loads: impl Iterator<Item = &'a LoadEstimate>) -> Option<f64> {
-    let (mut total_weight, mut sum) = (0.0, 0.0);
-    for load in loads {
-        let weight = load.freshness(now);
-        total_weight += weight;
-        sum += weight * load.fill;
-    }
-    (total_weight > 0.0).then_some(sum / total_weight)
+    weighted_mean(loads.map(|load| (load.freshness(now), load.fill)))
 }
 
 impl PlacementPolicy {
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -78,22 +78,13 @@
     }
 
     fn update_endpoint(&mut self, now: Time, endpoint: Endpoint) {
-        let has_weight = endpoint.weight.is_finite() && endpoint.weight > 0.0;
-        let weight = if has_weight { endpoint.weight } else { 1.0 };
         let server = self.servers.entry(endpoint.server).or_default();
-        let capacity = self.settings.stream_capacity.get(usize::from(endpoint.kind));
         server.next_slot_start = server.next_slot_start.max(self.started_at);
-        server.uplink_group = usize::from(endpoint.cell) % self.uplink_groups.len();
-        server.link.capacity_kb = (self.settings.link_kb * weight).max(1.0);
-        server.stream_capacity = capacity.map_or(f64::INFINITY, |streams| f64::from(*streams));
         let slow_start_until = endpoint.started_at.plus(self.settings.slow_start_duration);
         if endpoint.started_at > server.endpoint.started_at && slow_start_until > now {
             server.restarted(now, slow_start_until);
         }
-        self.servers_by_cell.entry(server.endpoint.cell).or_default().remove(&endpoint.server);
-        self.servers_by_cell.entry(endpoint.cell).or_default().insert(endpoint.server);
-        server.region_slots.resize(self.settings.rung_kb.len(), 0);
-        server.endpoint = endpoint;
+        self.record_endpoint(endpoint);
     }
 
     /// The work of each second.
--- a/crates/policy/src/regions.rs
+++ b/crates/policy/src/regions.rs
@@ -4,7 +4,7 @@
 use crate::policy::INITIAL_SESSION_SECONDS;
 use crate::state::{
     log_step, step_value, Nanoseconds, PlacementPolicy, RegionKey, RequestKind, SlotBudget, Split,
-    UplinkGroup, SECOND, TOLERANCE,
+    UplinkGroup, SECOND,
 };
 
 pub(crate) const HEADROOM_MARK: f64 = 0.9; // Part of a link or uplink that slots may fill.
@@ -19,6 +19,7 @@
 const MAX_TRADES: usize = 200; // Trades of slots in a climb.
 const FIRST_TRADES: u32 = 16; // A climb's first trades move one in so many of all slots.
 const TRADE_SHRINK: f64 = 4.0; // A trade that no longer gains is made so many times smaller.
+const TOLERANCE: f64 = 1e-9; // For comparisons of rates and benefits.
 
 /// The search for the slots that earn most.
 struct RegionSearch<'a> {
@@ -31,7 +32,7 @@
 impl RegionSearch<'_> {
     /// Climbs by trades from the split that has slots of rung `start` only.
     fn climb(&self, start: usize) -> Split {
-        let slots = self.budget.trade(&vec![0; self.budget.rung_kb.len()], start, start, 1.0);
+        let slots = self.trade(&vec![0; self.budget.rung_kb.len()], start, start, 1.0);
         let mut best = Split { benefit: benefit(self.offered, &slots, self.utility, self.penalty), slots };
         // Why: with hundreds of slots, trades of single ones take too long.
         let mut step = f64::from(best.slots[start] / FIRST_TRADES).max(1.0);
@@ -50,19 +51,31 @@
         let rungs = self.budget.rung_kb.len();
         let pairs = (0..rungs).flat_map(|from| (0..rungs).map(move |to| (from, to)));
         let possible = pairs.filter(|(from, to)| from != to && slots[*from] > 0);
-        let trades = possible.map(|(from, to)| self.budget.trade(slots, from, to, step));
+        let trades = possible.map(|(from, to)| self.trade(slots, from, to, step));
         let splits: Vec<_> = trades.filter(|slots| self.budget.fits(slots)).collect();
         let benefits = benefits(self.offered, &splits, self.utility, self.penalty);
         let valued = benefits.into_iter().zip(splits).map(|(benefit, slots)| Split { benefit, slots });
         valued.max_by(|a, b| a.benefit.total_cmp(&b.benefit))
     }
+
+    /// Gives up as few slots of rung `from` as make way for `step` more of `to`, and adds as many as fit.
+    fn trade(&self, slots: &[u32], from: usize, to: usize, step: f64) -> Vec<u32> {
+        let (budget, rung_kb) = (&self.budget, self.budget.rung_kb);
+        let mut traded = slots.to_vec();
+        let equal = (step * rung_kb[to] / rung_kb[from].max(TOLERANCE)).ceil().max(1.0);
+        let fewer = if from == to { 0.0 } else { equal };
+        traded[from] = traded[from].saturating_sub(fewer as u32);
+        let more = (budget.free_kb(&traded) / rung_kb[to].max(TOLERANCE)).max(0.0) as u32;
+        traded[to] += more.min(budget.max_slots.saturating_sub(traded.iter().sum()));
+        traded
+    }
 }
 
 /// The regions that earn most: slots of each rung (lowest first) whose rates fit `budget`, up to `max_slots`.
 /// A climb by trades of slots from each all-one-rung start, bounded in steps.
 pub fn best_regions(offered: f64, rung_kb: &[f64], utility: &[f64], budget: f64, max_slots: u32) -> Vec<u32> {
     let penalty = utility.first().copied().unwrap_or(0.0);
-    let budget = SlotBudget { rung_kb, budget_kb: budget, max_slots };
+    let budget = SlotBudget { rung_kb, budget_kb: budget + TOLERANCE, max_slots };
     let search = RegionSearch { offered, utility, penalty, budget };
     let splits = (0..rung_kb.len()).map(|start| search.climb(start));
     splits.max_by(|a, b| a.benefit.total_cmp(&b.benefit)).unwrap_or_default().slots
--- a/crates/policy/src/state/accounting.rs
+++ b/crates/policy/src/state/accounting.rs
@@ -103,6 +103,21 @@
         rates
     }
 
+    /// Records the entry that a list has of a server: its place in the fleet and what it can carry.
+    pub(crate) fn record_endpoint(&mut self, endpoint: Endpoint) {
+        let has_weight = endpoint.weight.is_finite() && endpoint.weight > 0.0;
+        let weight = if has_weight { endpoint.weight } else { 1.0 };
+        let server = self.servers.entry(endpoint.server).or_default();
+        let capacity = self.settings.stream_capacity.get(usize::from(endpoint.kind));
+        server.uplink_group = usize::from(endpoint.cell) % self.uplink_groups.len();
+        server.link.capacity_kb = (self.settings.link_kb * weight).max(1.0);
+        server.stream_capacity = capacity.map_or(f64::INFINITY, |streams| f64::from(*streams));
+        self.servers_by_cell.entry(server.endpoint.cell).or_default().remove(&endpoint.server);
+        self.servers_by_cell.entry(endpoint.cell).or_default().insert(endpoint.server);
+        server.region_slots.resize(self.settings.rung_kb.len(), 0);
+        server.endpoint = endpoint;
+    }
+
     /// Evicts removed servers once nothing of them matters. Why: where servers are replaced all the time, memory
     /// would grow without bound.
     pub(crate) fn evict_removed(&mut self, now: Time) {
--- a/crates/policy/src/state/fleet.rs
+++ b/crates/policy/src/state/fleet.rs
@@ -116,3 +116,13 @@
     pub(crate) at: Time,
     pub(crate) sessions: f64,
 }
+
+/// Mean of the values of (weight, value) pairs; `None` if no weight is above 0.
+pub(crate) fn weighted_mean(pairs: impl Iterator<Item = (f64, f64)>) -> Option<f64> {
+    let (mut total_weight, mut sum) = (0.0, 0.0);
+    for (weight, value) in pairs {
+        total_weight += weight;
+        sum += weight * value;
+    }
+    (total_weight > 0.0).then_some(sum / total_weight)
+}
--- a/crates/policy/src/state/mod.rs
+++ b/crates/policy/src/state/mod.rs
@@ -10,11 +10,12 @@
 pub(crate) use accounting::Accounting;
 pub use controller::PlacementPolicy;
 pub(crate) use fleet::{
-    ArrivalCount, FleetAggregates, LoadEstimate, OwnChange, SessionChange, TenantUsage, UplinkGroup,
+    weighted_mean, ArrivalCount, FleetAggregates, LoadEstimate, OwnChange, SessionChange, TenantUsage,
+    UplinkGroup,
 };
 pub(crate) use server::{Server, ShortDelivery};
 pub(crate) use session::{Demotion, EndedAttempt, Offer, RequestKind, Session, SessionState};
-pub(crate) use slots::{log_step, step_value, RegionKey, SlotBudget, Split, TOLERANCE};
+pub(crate) use slots::{log_step, step_value, RegionKey, SlotBudget, Split};
 pub(crate) use time::{Nanoseconds, SECOND};
 
 /// What is to be done, in order.
--- a/crates/policy/src/state/slots.rs
+++ b/crates/policy/src/state/slots.rs
@@ -1,8 +1,5 @@
 //! Numbers of slots of each region of a link, and the budget that they must fit. No choice is made here.
 
-/// For comparisons of rates.
-pub(crate) const TOLERANCE: f64 = 1e-9;
-
 /// The slots of each region and what they earn.
 #[derive(Default)]
 pub(crate) struct Split {
@@ -25,21 +22,14 @@
         slots.iter().zip(self.rung_kb).map(|(slots, kb)| f64::from(*slots) * kb).sum::<f64>()
     }
 
-    /// Whether these slots are within the budget.
-    pub(crate) fn fits(&self, slots: &[u32]) -> bool {
-        self.used_kb(slots) <= self.budget_kb + TOLERANCE && slots.iter().sum::<u32>() <= self.max_slots
+    /// What these slots leave of the rate, kB a second; below 0 if they exceed it.
+    pub(crate) fn free_kb(&self, slots: &[u32]) -> f64 {
+        self.budget_kb - self.used_kb(slots)
     }
 
-    /// Gives up as few slots of rung `from` as make way for `step` more of `to`, and adds as many as fit.
-    pub(crate) fn trade(&self, slots: &[u32], from: usize, to: usize, step: f64) -> Vec<u32> {
-        let mut traded = slots.to_vec();
-        let equal = (step * self.rung_kb[to] / self.rung_kb[from].max(1e-9)).ceil().max(1.0);
-        let fewer = if from == to { 0.0 } else { equal };
-        traded[from] = traded[from].saturating_sub(fewer as u32);
-        let free_kb = self.budget_kb + TOLERANCE - self.used_kb(&traded);
-        let more = (free_kb / self.rung_kb[to].max(1e-9)).max(0.0) as u32;
-        traded[to] += more.min(self.max_slots.saturating_sub(traded.iter().sum()));
-        traded
+    /// Whether these slots are within the budget.
+    pub(crate) fn fits(&self, slots: &[u32]) -> bool {
+        self.used_kb(slots) <= self.budget_kb && slots.iter().sum::<u32>() <= self.max_slots
     }
 }
 
