Node: the table is counted only where no slot is free

The condition before a connection is closed for want of slots took the table's lock for each accepted connection; now only where there is no capacity.

--- a/crates/node/src/connection_table.rs
+++ b/crates/node/src/connection_table.rs
@@ -59,8 +59,7 @@
         let in_use = self.slots_in_use.fetch_add(1, Ordering::AcqRel);
         let has_capacity = in_use < self.max_connections;
         self.is_full.store(!has_capacity, Ordering::Release);
-        let all_in_table = self.count() >= in_use;
-        if !has_capacity && all_in_table {
+        if !has_capacity && self.count() >= in_use {
             self.close_least_used();
         }
         has_capacity
