CLI tests: each descriptor of the node must be readable again; the time package is scanned

The node's test reads its descriptors itself again, once for io_uring and sockets as before, and fails on one that can't be read. The list of packages that the front node is made of lacked the new package `time`, so its sources were not searched for names of deployments; it is in the list.

--- a/crates/cli/tests/deployments.rs
+++ b/crates/cli/tests/deployments.rs
@@ -2,7 +2,8 @@
 use std::path::{Path, PathBuf};
 
 /// The packages that `crankpaddle node` is made of.
-const NODE_PACKAGES: [&str; 8] = [
+const NODE_PACKAGES: [&str; 9] = [
+    "time",
     "policy",
     "front",
     "node",
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -3,13 +3,13 @@
 mod support;
 
 use crankpaddle_membership::{MemberChange, MemberState, Membership, MembershipConfig, Output};
+use procfs::process::{FDTarget, Process};
 use rustix::process::Signal;
 use std::net::{SocketAddr, UdpSocket};
 use std::path::Path;
 use std::time::{Duration, Instant};
 use support::{
-    folder, front_command, isolated_config, open_sockets, program, run, text, RunningProgram,
-    EXAMPLE_CONFIG, KEY,
+    folder, front_command, isolated_config, program, run, text, RunningProgram, EXAMPLE_CONFIG, KEY,
 };
 
 /// Bound of each wait for a change of membership.
@@ -24,6 +24,19 @@
     RunningProgram::start(&mut front_command(&path))
 }
 
+/// The inodes of the sockets that a front has open. A descriptor that is closed while they are read is left out: the front
+/// keeps trying to connect to its list service.
+fn open_sockets(process: &Process) -> Vec<u64> {
+    process
+        .fd()
+        .unwrap()
+        .filter_map(|descriptor| match descriptor.ok()?.target {
+            FDTarget::Socket(inode) => Some(inode),
+            _ => None,
+        })
+        .collect()
+}
+
 fn udp_socket_count(front: &RunningProgram) -> usize {
     let process = front.process();
     let open = open_sockets(&process);
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -14,7 +14,7 @@
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::{Duration, Instant};
-use support::{open_sockets, text, RunningProgram};
+use support::{text, RunningProgram};
 
 /// Runs a node that must not start: exit status 2, nothing on standard output; returns its one line of explanation.
 fn rejection(command: &mut Command) -> String {
@@ -150,12 +150,17 @@
     assert!(children.is_empty(), "it started {children:?}");
 }
 
-fn assert_no_io_uring(process: &Process) {
+/// The inodes of the sockets that the node has open. Fails if a descriptor can't be read, or is one of io_uring.
+fn open_sockets_without_io_uring(process: &Process) -> Vec<u64> {
+    let mut sockets = Vec::new();
     for descriptor in process.fd().unwrap() {
-        if let FDTarget::AnonInode(kind) = descriptor.unwrap().target {
-            assert!(!kind.contains("io_uring"), "{kind}");
+        match descriptor.unwrap().target {
+            FDTarget::Socket(inode) => sockets.push(inode),
+            FDTarget::AnonInode(kind) => assert!(!kind.contains("io_uring"), "{kind}"),
+            _ => {}
         }
     }
+    sockets
 }
 
 /// One listener, one connection to the server, one of the viewer, and no other.
@@ -223,11 +228,9 @@
     let busy = BusyNode::start();
 
     let process = busy.node.process();
-    let open = open_sockets(&process);
-
     assert_linked_to_the_c_library(&process);
     assert_no_child_process(busy.node.pid());
-    assert_no_io_uring(&process);
+    let open = open_sockets_without_io_uring(&process);
     let listen = busy.node.address.parse().unwrap();
     assert_tcp_sockets(&process, &open, listen, busy.server.local_addr().unwrap());
     assert_udp_only_to(&process, &open, busy.directory.local_addr().unwrap());
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! What the tests of the program share: the program as a command, as a running process, and the folders of its files.
 #![allow(dead_code)] // Why: each test binary uses a part of it.
-use procfs::process::{FDTarget, Process};
+use procfs::process::Process;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use rustix::process::{kill_process, pidfd_open, Pid, PidfdFlags, Signal};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -169,18 +169,6 @@
     answer
 }
 
-/// The inodes of the sockets that a process has open.
-pub(crate) fn open_sockets(process: &Process) -> Vec<u64> {
-    process
-        .fd()
-        .unwrap()
-        .filter_map(|fd| match fd.ok()?.target {
-            FDTarget::Socket(inode) => Some(inode),
-            _ => None,
-        })
-        .collect()
-}
-
 /// Lines of a pipe, read by a thread of their own until the pipe is closed.
 fn read_lines(pipe: impl Read + Send + 'static) -> Receiver<String> {
     let (sender, lines) = channel();
