--- a/crates/benchmark/src/bench/load.rs
+++ b/crates/benchmark/src/bench/load.rs
@@ -6,6 +6,7 @@
 use crankpaddle_session_api::client::{self, ClientEvent};
 use crankpaddle_session_api::methods::Open;
 use crankpaddle_testbed::player::Client;
+use crankpaddle_time::{nanoseconds, Time};
 use hdrhistogram::Histogram;
 use std::io;
 use std::net::SocketAddr;
@@ -13,15 +14,17 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-const SECOND: u64 = 1_000_000_000;
+const NANOSECONDS_PER_SECOND: f64 = 1e9;
 /// Connections that open sessions without pause.
 const CLOSED_LOOP_CLIENTS: usize = 32;
 /// Pause of a client whose set-up failed: what fails at once must not be tried again at once.
 const AFTER_FAILURE: Duration = Duration::from_millis(10);
 /// Connections and pools are warm after this time.
 const WARM_UP: Duration = Duration::from_millis(500);
-/// An answer is waited for so long, nanoseconds.
-const ANSWER_TIMEOUT: u64 = 10 * SECOND;
+/// Time for an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time from the start of a run at a steady rate to its first set-up.
+const START_DELAY: Duration = Duration::from_millis(100);
 /// Latencies up to a minute, microseconds.
 const LONGEST_LATENCY_US: u64 = 60_000_000;
 /// Connections are opened in groups of so many.
@@ -110,16 +113,16 @@
         std::thread::sleep(WARM_UP);
         let count_before = done.load(Ordering::Relaxed);
         let cpu_before = cpu_seconds(target.pid())?;
-        let started_at = clock::now().as_nanos();
+        let started_at = clock::now();
         std::thread::sleep(Duration::from_secs(seconds));
         let count = done.load(Ordering::Relaxed) - count_before;
         let cpu = cpu_seconds(target.pid())? - cpu_before;
-        let elapsed = (clock::now().as_nanos() - started_at) as f64 / SECOND as f64;
+        let elapsed = nanoseconds(clock::now().duration_since(started_at)) as f64;
         stop.store(true, Ordering::Release);
         pending.wait(Duration::from_millis(10));
         *failures = lock(&recorded).clone();
         Ok(Throughput {
-            rate: count as f64 / elapsed,
+            rate: count as f64 / (elapsed / NANOSECONDS_PER_SECOND),
             cpu_us: cpu * 1e6 / count.max(1) as f64,
         })
     }
@@ -163,14 +166,12 @@
             failures: Mutex::new(std::mem::take(failures)),
         });
         let pending = Pending::default();
-        let start = clock::now().as_nanos() + SECOND / 10;
+        let start = clock::now() + START_DELAY;
         let count = (rate * seconds as f64) as u64;
         for number in 0..count {
-            let scheduled_at = start + (number as f64 / rate * SECOND as f64) as u64;
-            let now = clock::now().as_nanos();
-            if scheduled_at > now {
-                std::thread::sleep(Duration::from_nanos(scheduled_at - now));
-            }
+            let offset = number as f64 / rate * NANOSECONDS_PER_SECOND;
+            let scheduled_at = start + Duration::from_nanos(offset as u64);
+            std::thread::sleep(scheduled_at.duration_since(clock::now()));
             pending.begin();
             let (run, pending) = (run.clone(), pending.clone());
             spawn(Stack::Usual, move || {
@@ -218,7 +219,7 @@
         &self,
         reused: &mut Option<Client>,
         address: &SocketAddr,
-    ) -> Result<u64, SetUpFailure> {
+    ) -> Result<Time, SetUpFailure> {
         let mut client = match reused.take() {
             Some(client) => client,
             None => Client::connect(address, &self.sweeper)
@@ -230,14 +231,14 @@
     }
 
     /// Opens and closes a session; gives when the open was answered.
-    fn open_and_close(&self, client: &mut Client) -> Result<u64, SetUpFailure> {
+    fn open_and_close(&self, client: &mut Client) -> Result<Time, SetUpFailure> {
         let id = self.calls.fetch_add(2, Ordering::Relaxed);
         let open = open_params("measured", id);
-        let deadline = clock::now().as_nanos() + ANSWER_TIMEOUT;
+        let deadline = clock::now() + ANSWER_TIMEOUT;
         let is_answer =
             |event: &ClientEvent| matches!(event, ClientEvent::Plays { id: of, .. } if *of == id);
         let event = request(client, client::open(id, &open), deadline, is_answer)?;
-        let answered_at = clock::now().as_nanos();
+        let answered_at = clock::now();
         if let ClientEvent::Plays { session, .. } = event {
             let is_closed = |event: &ClientEvent| matches!(event, ClientEvent::Closed { id: of } if *of == id + 1);
             let close = client::close(id + 1, &session);
@@ -260,7 +261,7 @@
 fn request(
     client: &mut Client,
     call: String,
-    deadline: u64,
+    deadline: Time,
     is_answer: impl Fn(&ClientEvent) -> bool,
 ) -> Result<ClientEvent, SetUpFailure> {
     client
@@ -289,13 +290,14 @@
 }
 
 impl OpenLoop {
-    fn set_up(&self, scheduled_at: u64) {
+    fn set_up(&self, scheduled_at: Time) {
         let mut reused = lock(&self.idle).pop();
         let result = self.clients.set_up(&mut reused, &self.address);
         lock(&self.failures).record(&result);
         if let Ok(answered_at) = result {
-            let latency_us = answered_at.saturating_sub(scheduled_at) / 1000;
-            lock(&self.latencies).saturating_record(latency_us.max(1));
+            let latency = answered_at.duration_since(scheduled_at);
+            let microseconds = latency.as_micros() as u64;
+            lock(&self.latencies).saturating_record(microseconds.max(1));
             lock(&self.idle).extend(reused);
         }
     }
@@ -322,7 +324,7 @@
             let id = self.clients.calls.fetch_add(2, Ordering::Relaxed);
             let open = open_params("held", id);
             let _ = client.send(client::open(id, &open)); // Counted by the memory that it takes.
-            let _ = client.next(clock::now().as_nanos() + ANSWER_TIMEOUT);
+            let _ = client.next(clock::now() + ANSWER_TIMEOUT);
         }
         pending.end();
         while !self.stop.load(Ordering::Acquire) {
--- a/crates/benchmark/src/bench/mod.rs
+++ b/crates/benchmark/src/bench/mod.rs
@@ -16,7 +16,10 @@
 use std::time::Duration;
 use target::Target;
 
-const SECOND: u64 = 1_000_000_000;
+/// Length of a segment of the stand-in servers.
+const SEGMENT: Duration = Duration::from_secs(1);
+/// Delay of changes of the endpoint list.
+const LIST_DELAY: Duration = Duration::from_millis(100);
 /// The list has reached a started front after this time.
 const LIST_SETTLED: Duration = Duration::from_secs(1);
 
@@ -66,9 +69,9 @@
         let layout = Layout {
             count: 12,
             cores: 64,
-            work: 0,
+            work: Duration::ZERO,
             uneven: 0.0,
-            segment: SECOND,
+            segment: SEGMENT,
             seed: 1,
         };
         let fleet = Fleet::start(config.clone(), &layout, recorder.clone())?;
@@ -77,7 +80,7 @@
             .iter()
             .map(|server| entry(&config, server.id, server.address, EndpointState::Ready, 0))
             .collect();
-        let list = ListService::start(entries, SECOND / 10, recorder)?;
+        let list = ListService::start(entries, LIST_DELAY, recorder)?;
         let block = front_block(0, 1, &config.zones[0], &list.address.to_string(), "");
         let block = block.replacen("front {", "front {\n  workers: 1", 1);
         let configuration = plan.dir.join("measured.textproto");
--- a/crates/cli/src/testbed/cross_zone_summary.rs
+++ b/crates/cli/src/testbed/cross_zone_summary.rs
@@ -1,6 +1,7 @@
 //! Cross-zone traffic of a played scenario against its budgets.
 use crankpaddle_testbed::scenario_runner::Outcome;
 use crankpaddle_testbed::script::{Day, Kind};
+use std::time::Duration;
 
 /// Seconds over which a rate of cross-zone traffic is a mean.
 const RATE_WINDOW_SECONDS: u64 = 3;
@@ -62,8 +63,8 @@
     eprintln!("crossing is back under {budget_kb:.0} kB/s {when} the hall came back");
 }
 
-/// When the last crash ends, nanoseconds from the scenario's start.
-fn last_crash_end(day: &Day) -> Option<u64> {
+/// When the last crash ends, from the scenario's start.
+fn last_crash_end(day: &Day) -> Option<Duration> {
     day.faults
         .iter()
         .filter(|fault| fault.kind == Kind::Crash)
--- a/crates/cli/src/testbed/fleet_processes.rs
+++ b/crates/cli/src/testbed/fleet_processes.rs
@@ -5,8 +5,10 @@
 use crate::failure::CommandFailure;
 use crankpaddle_fault_simulation::Case;
 use crankpaddle_testbed::fleet::{self, Cost, Memory, Outcome, Plan};
+use crankpaddle_time::nanoseconds;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// Processes at most: there is a socket for every ordered pair.
 const MAX_PROCESSES: u32 = 100;
@@ -131,14 +133,14 @@
 }
 
 fn print_cost(cost: Cost, sessions: usize) {
-    let milliseconds = |nanoseconds: u64| nanoseconds as f64 / NANOSECONDS_PER_MILLISECOND;
+    let milliseconds = |time: Duration| nanoseconds(time) as f64 / NANOSECONDS_PER_MILLISECOND;
     let (median, percentile_99) = cost.answered;
     eprintln!(
         "cost: half of the answers 'plays' within {:.1} ms, 99 of 100 within {:.1} ms; processor time of all fronts {:.2} s, \
          {:.2} ms a session asked for",
         milliseconds(median),
         milliseconds(percentile_99),
-        cost.cpu as f64 / NANOSECONDS_PER_SECOND,
+        nanoseconds(cost.cpu) as f64 / NANOSECONDS_PER_SECOND,
         milliseconds(cost.cpu) / sessions.max(1) as f64
     );
 }
--- a/crates/cli/src/testbed/players.rs
+++ b/crates/cli/src/testbed/players.rs
@@ -7,7 +7,7 @@
 use crankpaddle_testbed::invariant_checker::Verdict;
 use crankpaddle_testbed::player::PlayerPool;
 use crankpaddle_testbed::record::Recorder;
-use crankpaddle_testbed::scenario_runner;
+use crankpaddle_testbed::scenario_runner::{self, Arrival};
 use crankpaddle_testbed::script::Day;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -54,13 +54,12 @@
     seed: u64,
     players: &Arc<PlayerPool>,
 ) {
-    let start = clock::now().as_nanos();
+    let start = clock::now();
     let end = start + day.length;
-    for (offset, mut visit) in scenario_runner::arrivals(day, config, seed) {
-        let wait = (start + offset).saturating_sub(clock::now().as_nanos());
-        std::thread::sleep(Duration::from_nanos(wait));
+    for Arrival { at, mut visit } in scenario_runner::arrivals(day, config, seed) {
+        std::thread::sleep((start + at).duration_since(clock::now()));
         visit.fronts = vec![(0, front)];
-        visit.watch = visit.watch.min(day.length - offset);
+        visit.watch = visit.watch.min(day.length - at);
         let players = players.clone();
         spawn(Stack::Usual, move || players.visit(&visit, end));
     }
--- a/crates/cli/tests/power_harness/mod.rs
+++ b/crates/cli/tests/power_harness/mod.rs
@@ -61,9 +61,9 @@
         let layout = Layout {
             count: SERVERS as usize,
             cores: 3,
-            work: 300_000_000,
+            work: Duration::from_nanos(300_000_000),
             uneven: 0.0,
-            segment: 200_000_000,
+            segment: Duration::from_nanos(200_000_000),
             seed: 3,
         };
         let fleet = Fleet::start(config.clone(), &layout, recorder.clone()).unwrap();
@@ -72,7 +72,8 @@
             .iter()
             .map(|server| entry(&config, server.id, server.address, EndpointState::Ready, 0))
             .collect();
-        let list = ListService::start(entries, 1_000_000, recorder.clone()).unwrap();
+        let list =
+            ListService::start(entries, Duration::from_nanos(1_000_000), recorder.clone()).unwrap();
         let mut harness = PowerLossHarness {
             dir,
             fleet,
--- a/crates/daemon/tests/support/backend.rs
+++ b/crates/daemon/tests/support/backend.rs
@@ -7,6 +7,7 @@
 use crankpaddle_testbed::server::{Fleet, Layout};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// The text of the fleet's configuration with short times, and each change made in it.
 pub(crate) fn fleet_text(changes: &[(&str, &str)]) -> String {
@@ -48,9 +49,9 @@
     let layout = Layout {
         count: 12,
         cores: 3,
-        work: 20_000_000,
+        work: Duration::from_nanos(20_000_000),
         uneven: 0.0,
-        segment: 200_000_000,
+        segment: Duration::from_nanos(200_000_000),
         seed: 3,
     };
     let fleet = Fleet::start(config.clone(), &layout, recorder.clone()).unwrap();
@@ -67,7 +68,7 @@
     let entries = servers
         .map(|server| entry(config, server.id, server.address, EndpointState::Ready, 0))
         .collect();
-    ListService::start(entries, 1_000_000, recorder.clone()).unwrap()
+    ListService::start(entries, Duration::from_nanos(1_000_000), recorder.clone()).unwrap()
 }
 
 /// Servers and a list service, before any front.
--- a/crates/daemon/tests/support/harness.rs
+++ b/crates/daemon/tests/support/harness.rs
@@ -11,7 +11,7 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// A front with its servers and its list service.
 pub(crate) struct Harness {
@@ -103,7 +103,9 @@
     /// The checker's verdict on what the servers saw; the players here are not recorded.
     pub(crate) fn verdict(&self) -> Verdict {
         let records: Vec<Record> = self.recorder.all();
-        let rules = Rules::of(&self.config, 1_000_000_000, 150_000_000);
+        let drain_grace = Duration::from_nanos(1_000_000_000);
+        let tolerance = Duration::from_nanos(150_000_000);
+        let rules = Rules::of(&self.config, drain_grace, tolerance);
         judge(&rules, &records)
     }
 
--- a/crates/testbed/src/crossing.rs
+++ b/crates/testbed/src/crossing.rs
@@ -1,9 +1,12 @@
 //! Traffic between zones and the utility of a day, by the servers' own records.
 use crate::record::{Record, Reply, Seen};
 use crankpaddle_config::Config;
+use crankpaddle_time::{nanoseconds, Time};
 use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
-const SECOND: u64 = 1_000_000_000;
+const SECOND: Duration = Duration::from_secs(1);
+const NANOSECONDS_PER_SECOND: u64 = 1_000_000_000;
 /// A session that got at least this part of its rate earns its full utility.
 const FULL_DELIVERY: f64 = 0.98;
 
@@ -30,16 +33,16 @@
     pub bytes: BTreeMap<FlowKey, u64>,
 }
 
-/// A time at one rung, nanoseconds.
+/// A time at one rung.
 struct RungPeriod {
-    from: u64,
-    to: u64,
+    from: Time,
+    to: Time,
     rung: u8,
 }
 
 impl RungPeriod {
     fn seconds(&self) -> f64 {
-        (self.to - self.from) as f64 / SECOND as f64
+        seconds(self.to.duration_since(self.from))
     }
 }
 
@@ -49,24 +52,39 @@
     class: usize,
     rung: u8,
     /// Since when it plays at this rung; `None` before it plays.
-    playing_since: Option<u64>,
+    playing_since: Option<Time>,
     periods: Vec<RungPeriod>,
 }
 
 impl Session<'_> {
-    fn change_rung(&mut self, at: u64, rung: u8) {
+    fn change_rung(&mut self, at: Time, rung: u8) {
         if let Some(from) = self.playing_since.replace(at).filter(|from| *from < at) {
             self.end_period(from, at);
         }
         self.rung = rung;
     }
 
-    fn end_period(&mut self, from: u64, to: u64) {
+    fn end_period(&mut self, from: Time, to: Time) {
         let rung = self.rung;
         self.periods.push(RungPeriod { from, to, rung });
     }
 }
 
+/// A duration in seconds, from its whole nanoseconds.
+fn seconds(duration: Duration) -> f64 {
+    nanoseconds(duration) as f64 / NANOSECONDS_PER_SECOND as f64
+}
+
+/// The second of the clock that a time is in.
+fn second_of(time: Time) -> u64 {
+    time.as_nanos() / NANOSECONDS_PER_SECOND
+}
+
+/// The time at which a second of the clock begins.
+fn start_of(second: u64) -> Time {
+    Time::ZERO + Duration::from_secs(second)
+}
+
 /// Computes the traffic from records in the order of their times.
 #[must_use]
 pub fn crossed(records: &[Record], config: &Config) -> Crossed {
@@ -168,24 +186,25 @@
 
     /// Adds the traffic of a period between zones to each of its seconds.
     fn add_period(&mut self, period: &RungPeriod, kb: f64, paid: bool) {
-        for second in period.from / SECOND..=period.to / SECOND {
-            let start = second * SECOND;
-            let part = (start + SECOND).min(period.to) - start.max(period.from);
+        for second in second_of(period.from)..=second_of(period.to) {
+            let start = start_of(second);
+            let end = start + SECOND;
+            let part = end.min(period.to).duration_since(start.max(period.from));
             let (paid_kb, other_kb) = self.seconds.entry(second).or_default();
             let sum = if paid { paid_kb } else { other_kb };
-            *sum += kb * part as f64 / SECOND as f64;
+            *sum += kb * nanoseconds(part) as f64 / NANOSECONDS_PER_SECOND as f64;
         }
     }
 
     /// The highest mean rate between zones over `over` seconds within two times, kB a second: of all traffic, and of what
     /// is not paid for.
     #[must_use]
-    pub fn peak(&self, from: u64, to: u64, over: u64) -> (f64, f64) {
+    pub fn peak(&self, from: Time, to: Time, over: u64) -> (f64, f64) {
         let at = |second: u64| self.seconds.get(&second).copied().unwrap_or_default();
         let mean = |second: u64, of: &dyn Fn((f64, f64)) -> f64| {
             (second..second + over).map(|s| of(at(s))).sum::<f64>() / over.max(1) as f64
         };
-        let seconds = from / SECOND..(to / SECOND).saturating_sub(over.saturating_sub(1));
+        let seconds = second_of(from)..second_of(to).saturating_sub(over.saturating_sub(1));
         seconds.fold((0.0, 0.0), |(all, rest), second| {
             (
                 mean(second, &|(p, r)| p + r).max(all),
@@ -197,11 +216,11 @@
     /// Seconds after `after` until the mean rate over each `over` seconds that follow, up to `to`, is at most `kb`; `None`
     /// if it never is.
     #[must_use]
-    pub fn below(&self, kb: f64, after: u64, to: u64, over: u64) -> Option<u64> {
-        let last = (to / SECOND).saturating_sub(over);
-        let first = after / SECOND;
+    pub fn below(&self, kb: f64, after: Time, to: Time, over: u64) -> Option<u64> {
+        let last = second_of(to).saturating_sub(over);
+        let first = second_of(after);
         (first..last)
-            .find(|s| self.peak(s * SECOND, to, over).0 <= kb)
+            .find(|s| self.peak(start_of(*s), to, over).0 <= kb)
             .map(|s| s - first)
     }
 }
--- a/crates/testbed/src/crossing/tests.rs
+++ b/crates/testbed/src/crossing/tests.rs
@@ -5,7 +5,7 @@
 fn rungs_times_and_bytes_make_rates_worth_and_flows() {
     let config = fleet_config(FLEET).unwrap();
     let at = |second: u64, seen| Record {
-        at: second * SECOND,
+        at: start_of(second),
         seen,
     };
     let name = || "a".to_owned();
@@ -47,11 +47,11 @@
     let all = crossed(&records, &config);
     let close = |a: f64, b: f64| (a - b).abs() < 1e-6 * b.max(1.0);
     assert!(close(all.seconds[&105].0, 28.0) && close(all.seconds[&115].0, 140.0));
-    assert!(close(all.peak(100 * SECOND, 130 * SECOND, 2).0, 140.0));
-    assert_eq!(all.peak(100 * SECOND, 130 * SECOND, 2).1, 0.0);
-    assert_eq!(all.below(50.0, 105 * SECOND, 130 * SECOND, 1), Some(16));
+    assert!(close(all.peak(start_of(100), start_of(130), 2).0, 140.0));
+    assert_eq!(all.peak(start_of(100), start_of(130), 2).1, 0.0);
+    assert_eq!(all.below(50.0, start_of(105), start_of(130), 1), Some(16));
     assert_eq!(
-        all.below(10.0, 105 * SECOND, 121 * SECOND, 1),
+        all.below(10.0, start_of(105), start_of(121), 1),
         None,
         "it never is"
     );
--- a/crates/testbed/src/fault_mode.rs
+++ b/crates/testbed/src/fault_mode.rs
@@ -1,10 +1,11 @@
 //! The faults that a scenario switches on at a stand-in server.
+use std::time::Duration;
 
 /// Faults of the messages that a server sends on its own.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ResponseFault {
-    /// Longest extra delay, nanoseconds. Each message draws a part of it, so some overtake others.
-    pub late: u64,
+    /// Longest extra delay. Each message draws a part of it, so some overtake others.
+    pub late: Duration,
     /// Part of the messages that are lost.
     pub lost: f64,
     /// Part of the messages that arrive twice.
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -34,14 +34,15 @@
 };
 use crankpaddle_membership::{LocalHealth, MemberState};
 use crankpaddle_net::clock;
+use crankpaddle_time::{nanoseconds, Time};
 use std::io;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
-const SECOND: u64 = 1_000_000_000;
+const NANOSECONDS_PER_SECOND: u64 = 1_000_000_000;
 /// After the case the players have this long to leave.
-const PLAYERS_LEAVE_WITHIN: u64 = 40 * SECOND;
+const PLAYERS_LEAVE_WITHIN: Duration = Duration::from_secs(40);
 
 /// How a case is played.
 #[derive(Clone, Debug)]
@@ -131,7 +132,7 @@
     stopped: Vec<bool>,
     /// Fronts that run the other build from their next start on.
     others: Vec<bool>,
-    began: u64,
+    began: Time,
     /// The hosts, where the case has power losses.
     hosts: Option<Hosts>,
     players: Arc<PlayerPool>,
@@ -220,7 +221,8 @@
     }
 
     fn sent(&self) -> Rate {
-        let time = (clock::now().as_nanos() - self.began).max(1) as f64 / SECOND as f64;
+        let elapsed = nanoseconds(clock::now().duration_since(self.began)).max(1);
+        let time = elapsed as f64 / NANOSECONDS_PER_SECOND as f64;
         let rate = |i| {
             let sent = self.mesh.sent(i);
             (sent.0 as f64 / time, sent.1 as f64 / time)
@@ -249,7 +251,7 @@
     let all: Vec<usize> = (0..harness.processes.len()).collect();
     harness.stop(&all, false);
     players.leave();
-    let deadline = clock::now().as_nanos() + PLAYERS_LEAVE_WITHIN;
+    let deadline = clock::now() + PLAYERS_LEAVE_WITHIN;
     faults.extend(wait_for_players(&players, deadline));
     // Why: nobody ends the sessions of a front that was killed.
     if !any_front_died(&stage.recorder) {
@@ -305,7 +307,7 @@
             processes: (0..fronts).map(|_| None).collect(),
             stopped: vec![false; fronts],
             others: vec![false; fronts],
-            began: clock::now().as_nanos(),
+            began: clock::now(),
             hosts,
             players: Arc::new(players),
         })
--- a/crates/testbed/src/fleet/arrivals.rs
+++ b/crates/testbed/src/fleet/arrivals.rs
@@ -1,8 +1,7 @@
 //! The players of a case: they arrive as on a day, until the case is over, and choose among the fronts that run.
-use super::SECOND;
 use crate::membership_poll::Views;
-use crate::player::{PlayerPool, Visit};
-use crate::scenario_runner::arrivals;
+use crate::player::PlayerPool;
+use crate::scenario_runner::{arrivals, Arrival};
 use crate::script::Day;
 use crankpaddle_config::Config;
 use crankpaddle_net::{clock, spawn, Stack};
@@ -12,7 +11,7 @@
 use std::time::Duration;
 
 /// Arrivals are drawn for this long; no case is longer.
-const LONGEST_CASE: u64 = 3600 * SECOND;
+const LONGEST_CASE: Duration = Duration::from_secs(3600);
 
 /// A thread that starts the visits.
 pub(super) struct Arrivals {
@@ -32,10 +31,10 @@
             length: LONGEST_CASE,
             ..day.clone()
         };
-        let visits = arrivals(&long_day, config, seed);
+        let drawn = arrivals(&long_day, config, seed);
         let over = Arc::new(AtomicBool::new(false));
         let (players, views, case_over) = (players.clone(), views.clone(), over.clone());
-        let thread = std::thread::spawn(move || start_visits(visits, &players, &views, &case_over));
+        let thread = std::thread::spawn(move || start_visits(drawn, &players, &views, &case_over));
         Arrivals { over, thread }
     }
 
@@ -48,15 +47,14 @@
 }
 
 fn start_visits(
-    visits: Vec<(u64, Visit)>,
+    arrivals: Vec<Arrival>,
     players: &Arc<PlayerPool>,
     views: &Views,
     over: &AtomicBool,
 ) {
-    let start = clock::now().as_nanos();
-    for (at, mut visit) in visits {
-        let wait = (start + at).saturating_sub(clock::now().as_nanos());
-        std::thread::sleep(Duration::from_nanos(wait));
+    let start = clock::now();
+    for Arrival { at, mut visit } in arrivals {
+        std::thread::sleep((start + at).duration_since(clock::now()));
         if over.load(Ordering::Acquire) {
             return;
         }
@@ -65,7 +63,7 @@
             continue;
         }
         let players = players.clone();
-        let until = clock::now().as_nanos() + visit.patience + visit.watch;
+        let until = clock::now() + visit.patience + visit.watch;
         spawn(Stack::Usual, move || players.visit(&visit, until));
     }
 }
--- a/crates/testbed/src/fleet/cost.rs
+++ b/crates/testbed/src/fleet/cost.rs
@@ -1,15 +1,17 @@
 //! What the fronts of a case cost.
-use super::SECOND;
+use super::NANOSECONDS_PER_SECOND;
 use crate::record::{PlayerReply, Record, Seen};
+use crankpaddle_time::Time;
 use std::collections::HashMap;
+use std::time::Duration;
 
 /// What the fronts of a case cost, as players and the operating system measured it.
 #[derive(Clone, Copy, Debug)]
 pub struct Cost {
-    /// Median and 99th percentile of the time from a call to its answer 'plays', nanoseconds.
-    pub answered: (u64, u64),
-    /// Processor time of all fronts that ended, nanoseconds.
-    pub cpu: u64,
+    /// Median and 99th percentile of the time from a call to its answer 'plays'.
+    pub answered: (Duration, Duration),
+    /// Processor time of all fronts that ended.
+    pub cpu: Duration,
 }
 
 impl Cost {
@@ -19,7 +21,7 @@
         times.sort_unstable();
         let percentile = |part: f64| {
             let index = (times.len() as f64 * part) as usize;
-            times.get(index).copied().unwrap_or(0)
+            times.get(index).copied().unwrap_or_default()
         };
         Cost {
             answered: (percentile(0.5), percentile(0.99)),
@@ -29,8 +31,8 @@
 }
 
 /// Times from call to answer of the calls whose session plays.
-fn answer_times(records: &[Record]) -> Vec<u64> {
-    let mut opened_at: HashMap<u64, u64> = HashMap::new();
+fn answer_times(records: &[Record]) -> Vec<Duration> {
+    let mut opened_at: HashMap<u64, Time> = HashMap::new();
     let mut times = Vec::new();
     for Record { at, seen } in records {
         match seen {
@@ -40,16 +42,16 @@
             Seen::CallAnswered {
                 call,
                 reply: PlayerReply::Plays,
-            } => times.extend(opened_at.get(call).map(|opened| at - opened)),
+            } => times.extend(opened_at.get(call).map(|opened| at.duration_since(*opened))),
             _ => {}
         }
     }
     times
 }
 
-fn children_cpu_time() -> u64 {
+fn children_cpu_time() -> Duration {
     let ticks = procfs::process::Process::myself()
         .and_then(|me| me.stat())
         .map_or(0, |stat| stat.cutime + stat.cstime);
-    ticks.max(0) as u64 * SECOND / procfs::ticks_per_second()
+    Duration::from_nanos(ticks.max(0) as u64 * NANOSECONDS_PER_SECOND / procfs::ticks_per_second())
 }
--- a/crates/testbed/src/import/tests.rs
+++ b/crates/testbed/src/import/tests.rs
@@ -41,6 +41,7 @@
 #[test]
 fn every_trouble_that_has_a_like_becomes_a_fault() {
     use script::Kind;
+    use std::time::Duration;
     for (kind, size, extra, want) in [
         ("hang", 0.0, 0.0, Kind::Hang),
         ("vanish", 0.0, 0.0, Kind::Vanish),
@@ -49,7 +50,12 @@
         ("shared_slow", 1.5, 0.0, Kind::Slow(1.5)),
         ("burst", 2.0, 3.0, Kind::Burst(2.0)),
         ("hot_key", 0.2, 1.0, Kind::LoadSurge(0, 0.2)),
-        ("discovery_stale", 3.0, 0.0, Kind::ListLate(3_000_000_000)),
+        (
+            "discovery_stale",
+            3.0,
+            0.0,
+            Kind::ListLate(Duration::from_nanos(3_000_000_000)),
+        ),
         ("zone_loss", 0.6, 0.7, Kind::Vanish),
         ("deploy", 0.1, 4.0, Kind::Drain),
         ("balancer_stall", 1500.0, 3.0, Kind::Stall(vec![1, 2])),
--- a/crates/testbed/src/invariant_checker/at_most_once.rs
+++ b/crates/testbed/src/invariant_checker/at_most_once.rs
@@ -3,13 +3,14 @@
 use super::verdict::Verdict;
 use super::AT_MOST_ONCE;
 use crate::record::{PlayerReply, Record, Reply, Seen};
+use crankpaddle_time::Time;
 use std::collections::HashMap;
 
 /// Two attempts that were in flight together, from the time the second was sent.
 struct Overlap<'a> {
     first: &'a str,
     second: &'a str,
-    since: u64,
+    since: Time,
 }
 
 /// What is known about the set-ups of one bill reference.
@@ -49,7 +50,7 @@
 }
 
 impl<'a> Checker<'a, '_> {
-    fn observe(&mut self, at: u64, seen: &'a Seen) {
+    fn observe(&mut self, at: Time, seen: &'a Seen) {
         match seen {
             Seen::OpenSent {
                 call, bill, class, ..
@@ -74,11 +75,11 @@
         }
     }
 
-    fn breach(&mut self, at: u64, what: String) {
+    fn breach(&mut self, at: Time, what: String) {
         self.verdict.add_breach(AT_MOST_ONCE, at, what);
     }
 
-    fn on_set_up(&mut self, at: u64, name: &'a str, bill: &'a str, class: &str) {
+    fn on_set_up(&mut self, at: Time, name: &'a str, bill: &'a str, class: &str) {
         let mut classes = self.evidence.rules.classes.iter();
         let is_paid = classes.any(|rule| rule.paid && rule.name == class);
         let state = self.bills.entry(bill).or_default();
@@ -96,7 +97,7 @@
         }
     }
 
-    fn on_billed(&mut self, at: u64, bill: &'a str) {
+    fn on_billed(&mut self, at: Time, bill: &'a str) {
         let state = self.bills.entry(bill).or_default();
         state.billed_count += 1;
         if state.billed_count == 2 {
@@ -105,7 +106,7 @@
         }
     }
 
-    fn on_replied(&mut self, name: &str, reply: Reply, at: u64) {
+    fn on_replied(&mut self, name: &str, reply: Reply, at: Time) {
         let Some(session) = self.evidence.session(name) else {
             return;
         };
@@ -124,7 +125,7 @@
         // Why: a front may see the end of a connection before the stand-in records it, or may have closed it itself
         // and the stand-in reads that later; both stay within the tolerance.
         let disconnected = matches!(reply, Reply::Left | Reply::Reset);
-        if !disconnected || at - since > self.evidence.rules.tolerance {
+        if !disconnected || at.duration_since(since) > self.evidence.rules.tolerance {
             let what = format!("attempts {first} and {second} were out together");
             self.breach(since, what);
         }
@@ -139,7 +140,7 @@
         state.may_have_run &= state.billed_count > 0;
     }
 
-    fn on_rejected(&mut self, at: u64, call: u64) {
+    fn on_rejected(&mut self, at: Time, call: u64) {
         let Some(Request { bill, class }) = self.requests.get(&call) else {
             return;
         };
--- a/crates/testbed/src/invariant_checker/class_limits.rs
+++ b/crates/testbed/src/invariant_checker/class_limits.rs
@@ -3,6 +3,7 @@
 use super::rules::ClassRule;
 use super::verdict::Verdict;
 use crate::record::{Record, Reply, Seen};
+use crankpaddle_time::Time;
 use std::collections::{BTreeSet, HashMap};
 
 const RULE: u8 = 5;
@@ -45,7 +46,7 @@
 }
 
 impl<'a> Checker<'a, '_> {
-    fn observe(&mut self, at: u64, seen: &'a Seen) {
+    fn observe(&mut self, at: Time, seen: &'a Seen) {
         match seen {
             Seen::SetUp { name, rung, .. } => {
                 if let Some(rule) = self.check_rung(at, name, *rung) {
@@ -61,12 +62,12 @@
         }
     }
 
-    fn breach(&mut self, at: u64, what: String) {
+    fn breach(&mut self, at: Time, what: String) {
         self.verdict.add_breach(RULE, at, what);
     }
 
     /// Checks a session's rung; the limits of its class where session and class are known.
-    fn check_rung(&mut self, at: u64, name: &str, rung: u8) -> Option<&'a ClassRule> {
+    fn check_rung(&mut self, at: Time, name: &str, rung: u8) -> Option<&'a ClassRule> {
         let class = self.evidence.session(name)?.class;
         let mut classes = self.evidence.rules.classes.iter();
         let Some(rule) = classes.find(|rule| rule.name == class) else {
@@ -82,7 +83,7 @@
     }
 
     /// Counts a new session against the limit of its class for a title.
-    fn check_seats(&mut self, at: u64, name: &'a str, rule: &ClassRule) {
+    fn check_seats(&mut self, at: Time, name: &'a str, rule: &ClassRule) {
         let Some(session) = self.evidence.session(name) else {
             return;
         };
--- a/crates/testbed/src/invariant_checker/drain.rs
+++ b/crates/testbed/src/invariant_checker/drain.rs
@@ -2,15 +2,15 @@
 use super::evidence::Evidence;
 use super::verdict::Verdict;
 use crate::record::{Record, Seen};
+use crankpaddle_time::Time;
 use std::collections::HashMap;
 
 const RULE: u8 = 3;
-const MILLISECOND: u64 = 1_000_000;
 
 /// Adds the breaches of this rule to `verdict`.
 pub(super) fn check(evidence: &Evidence<'_>, verdict: &mut Verdict) {
     // By front and server: when the front was first notified that the server takes no new sessions.
-    let mut unready_since: HashMap<(&str, u32), u64> = HashMap::new();
+    let mut unready_since: HashMap<(&str, u32), Time> = HashMap::new();
     for Record { at, seen } in evidence.records {
         match seen {
             Seen::Listed {
@@ -37,7 +37,7 @@
                     continue;
                 };
                 if *at > last_allowed(evidence, front, *since) + evidence.rules.tolerance {
-                    let late = (at - since) / MILLISECOND;
+                    let late = at.duration_since(*since).as_millis();
                     let what = format!(
                         "session {name} was sent to server {server} {late} ms after its drain"
                     );
@@ -51,12 +51,12 @@
 
 /// The end of the grace. A front that was stopped during it had the notice unread, so its grace begins anew when it
 /// resumes.
-fn last_allowed(evidence: &Evidence<'_>, front: &str, since: u64) -> u64 {
+fn last_allowed(evidence: &Evidence<'_>, front: &str, since: Time) -> Time {
     let grace = evidence.rules.drain_grace;
     let end_of_grace = since + grace;
     let stalls = evidence.stalls_of_name(front).iter();
     stalls
         .filter(|stall| stall.from <= end_of_grace && stall.until >= since)
-        .map(|stall| stall.until.saturating_add(grace))
-        .fold(end_of_grace, u64::max)
+        .map(|stall| stall.until + grace)
+        .fold(end_of_grace, Time::max)
 }
--- a/crates/testbed/src/invariant_checker/evidence.rs
+++ b/crates/testbed/src/invariant_checker/evidence.rs
@@ -3,6 +3,7 @@
 use super::verdict::Verdict;
 use super::AT_MOST_ONCE;
 use crate::record::{Record, Seen};
+use crankpaddle_time::Time;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// What a set-up stated about its session.
@@ -17,8 +18,8 @@
 /// A time in which a front's process was stopped, both ends included.
 #[derive(Clone, Copy)]
 pub(super) struct Stall {
-    pub(super) from: u64,
-    pub(super) until: u64,
+    pub(super) from: Time,
+    pub(super) until: Time,
 }
 
 /// The records with indexes over them. Fronts have a number among the players and a name at the servers.
@@ -28,7 +29,7 @@
     sessions: HashMap<&'a str, Session<'a>>,
     stalls_by_name: BTreeMap<&'a str, Vec<Stall>>,
     stalls_by_number: BTreeMap<u32, Vec<Stall>>,
-    deaths_by_number: BTreeMap<u32, Vec<u64>>,
+    deaths_by_number: BTreeMap<u32, Vec<Time>>,
     /// Numbers of fronts by the bill reference of a request they received.
     number_by_bill: HashMap<&'a str, u32>,
     names_by_number: BTreeMap<u32, BTreeSet<&'a str>>,
@@ -58,7 +59,7 @@
         evidence
     }
 
-    fn index(&mut self, at: u64, seen: &'a Seen, verdict: &mut Verdict) {
+    fn index(&mut self, at: Time, seen: &'a Seen, verdict: &mut Verdict) {
         match seen {
             Seen::OpenSent { front, bill, .. } => {
                 self.number_by_bill.insert(bill, *front);
@@ -95,12 +96,12 @@
         }
     }
 
-    fn index_stall(&mut self, at: u64, front: u32, stopped: bool) {
+    fn index_stall(&mut self, at: Time, front: u32, stopped: bool) {
         let stalls = self.stalls_by_number.entry(front).or_default();
         if stopped {
             stalls.push(Stall {
                 from: at,
-                until: u64::MAX,
+                until: Time::MAX,
             });
         } else if let Some(last) = stalls.last_mut() {
             // Why: a resumed front first reads what arrived in the meantime.
@@ -127,14 +128,14 @@
     }
 
     /// Whether the front was stopped at some time of `from..=until`.
-    pub(super) fn was_stalled(&self, front: u32, from: u64, until: u64) -> bool {
+    pub(super) fn was_stalled(&self, front: u32, from: Time, until: Time) -> bool {
         self.stalls_by_number
             .get(&front)
             .is_some_and(|stalls| stalls.iter().any(|s| s.from <= until && s.until >= from))
     }
 
     /// Whether the front's process was killed at some time of `from..=until`.
-    pub(super) fn died(&self, front: u32, from: u64, until: u64) -> bool {
+    pub(super) fn died(&self, front: u32, from: Time, until: Time) -> bool {
         let period = from..=until;
         self.deaths_by_number
             .get(&front)
--- a/crates/testbed/src/invariant_checker/retry_budget.rs
+++ b/crates/testbed/src/invariant_checker/retry_budget.rs
@@ -3,6 +3,7 @@
 use super::rules::RetryBudget;
 use super::verdict::Verdict;
 use crate::record::{Record, Seen};
+use crankpaddle_time::Time;
 use std::collections::{BTreeMap, HashMap};
 
 const RULE: u8 = 6;
@@ -14,9 +15,9 @@
     unsent_requests: HashMap<&'a str, usize>,
     front_by_bill: HashMap<&'a str, u32>,
     /// Times of requests by front.
-    requests: BTreeMap<u32, Vec<u64>>,
+    requests: BTreeMap<u32, Vec<Time>>,
     /// Times of retries by front.
-    retries: BTreeMap<u32, Vec<u64>>,
+    retries: BTreeMap<u32, Vec<Time>>,
 }
 
 /// Adds the breaches of this rule to `verdict`.
@@ -42,13 +43,13 @@
 }
 
 impl<'a> Checker<'a, '_> {
-    fn on_request(&mut self, at: u64, front: u32, bill: &'a str) {
+    fn on_request(&mut self, at: Time, front: u32, bill: &'a str) {
         *self.unsent_requests.entry(bill).or_default() += 1;
         self.requests.entry(front).or_default().push(at);
         self.front_by_bill.insert(bill, front);
     }
 
-    fn on_set_up(&mut self, at: u64, bill: &str) {
+    fn on_set_up(&mut self, at: Time, bill: &str) {
         let Some(front) = self.front_by_bill.get(bill).copied() else {
             return;
         };
@@ -67,10 +68,10 @@
         }
     }
 
-    fn count_in_window(&self, times: &BTreeMap<u32, Vec<u64>>, front: u32, now: u64) -> usize {
+    fn count_in_window(&self, times: &BTreeMap<u32, Vec<Time>>, front: u32, now: Time) -> usize {
         let times_of_front = times.get(&front).into_iter().flatten();
         times_of_front
-            .filter(|at| now - **at <= self.budget.window)
+            .filter(|at| now.duration_since(**at) <= self.budget.window)
             .count()
     }
 }
--- a/crates/testbed/src/invariant_checker/rules.rs
+++ b/crates/testbed/src/invariant_checker/rules.rs
@@ -1,6 +1,7 @@
 //! The limits that the invariant checker applies, taken from a configuration.
 use crankpaddle::Idempotency;
 use crankpaddle_config::Config;
+use std::time::Duration;
 
 /// The limits of one class of sessions.
 #[derive(Clone, Debug)]
@@ -22,34 +23,34 @@
     pub floor: f64,
     /// Retries allowed on top for each request received in the window.
     pub ratio: f64,
-    /// Length of the sliding window, nanoseconds.
-    pub window: u64,
+    /// Length of the sliding window.
+    pub window: Duration,
 }
 
-/// The limits of all rules. Times in nanoseconds.
+/// The limits of all rules.
 #[derive(Clone, Debug)]
 pub struct Rules {
     /// Classes in the order of their numbers.
     pub classes: Vec<ClassRule>,
     /// A server gets no new session later than this after a front was notified that it is draining or removed.
-    pub drain_grace: u64,
+    pub drain_grace: Duration,
     /// Length of a restarted server's slow start.
-    pub slow_start_duration: u64,
+    pub slow_start_duration: Duration,
     /// Part of the full rate that a server can take at the beginning of its slow start.
     pub slow_start_min_factor: f64,
     /// A server in slow start is overloaded when it gets more than this multiple of its present rate ...
     pub overload_multiple: f64,
     /// ... within this time.
-    pub overload_window: u64,
+    pub overload_window: Duration,
     /// The budget for retries; `None` where there is no limit.
     pub retry: Option<RetryBudget>,
     /// Tolerance for clocks and scheduling: a record may be this much later than the event.
-    pub tolerance: u64,
+    pub tolerance: Duration,
 }
 
 impl Rules {
-    /// The limits that a configuration states. The drain grace is chosen by whoever operates the stand-ins.
-    pub fn of(config: &Config, drain_grace: u64, tolerance: u64) -> Rules {
+    /// The limits that a configuration states. No configuration has a drain grace: the stand-ins' operator chooses it.
+    pub fn of(config: &Config, drain_grace: Duration, tolerance: Duration) -> Rules {
         let settings = &config.settings;
         let class_rule = |(name, class): (&String, &crankpaddle::Class)| ClassRule {
             name: name.clone(),
@@ -61,15 +62,15 @@
         let retry = settings.retry_budget_min.map(|floor| RetryBudget {
             floor,
             ratio: settings.retry_budget_ratio,
-            window: settings.retry_budget_window,
+            window: Duration::from_nanos(settings.retry_budget_window),
         });
         Rules {
             classes: named_classes.map(class_rule).collect(),
             drain_grace,
-            slow_start_duration: settings.slow_start_duration,
+            slow_start_duration: Duration::from_nanos(settings.slow_start_duration),
             slow_start_min_factor: settings.slow_start_min_factor,
             overload_multiple: settings.overload_multiple,
-            overload_window: settings.overload_window,
+            overload_window: Duration::from_nanos(settings.overload_window),
             retry,
             tolerance,
         }
--- a/crates/testbed/src/invariant_checker/single_answer.rs
+++ b/crates/testbed/src/invariant_checker/single_answer.rs
@@ -2,21 +2,21 @@
 use super::evidence::Evidence;
 use super::verdict::Verdict;
 use crate::record::{PlayerReply, Record, Seen};
+use crankpaddle_time::Time;
 use std::collections::BTreeMap;
 
 const RULE: u8 = 1;
-const MILLISECOND: u64 = 1_000_000;
 
 struct CallAnswer {
-    at: u64,
+    at: Time,
     reply: PlayerReply,
 }
 
 /// A call as its player saw it.
 struct Call {
-    sent_at: u64,
+    sent_at: Time,
     front: u32,
-    deadline: u64,
+    deadline: Time,
     answers: Vec<CallAnswer>,
     disconnected: bool,
 }
@@ -78,12 +78,12 @@
 }
 
 /// Time and description of the call's breach, if it has one.
-fn breach_of(evidence: &Evidence<'_>, id: u64, call: &Call) -> Option<(u64, String)> {
+fn breach_of(evidence: &Evidence<'_>, id: u64, call: &Call) -> Option<(Time, String)> {
     let tolerance = evidence.rules.tolerance;
     match &call.answers[..] {
         [] => {
             // Why: a killed front has no pending answers; a call may be recorded just after the kill that it met.
-            let earliest_death = call.sent_at.saturating_sub(tolerance);
+            let earliest_death = call.sent_at - tolerance;
             let excused =
                 call.disconnected || evidence.died(call.front, earliest_death, call.deadline);
             (!excused).then(|| (call.deadline, format!("call {id} was never answered")))
@@ -93,7 +93,7 @@
             if answer.at <= call.deadline + tolerance || excused {
                 return None;
             }
-            let late = (answer.at - call.deadline) / MILLISECOND;
+            let late = answer.at.duration_since(call.deadline).as_millis();
             let what = format!("call {id} was answered {late} ms after its viewer gave up");
             Some((answer.at, what))
         }
--- a/crates/testbed/src/invariant_checker/slow_start.rs
+++ b/crates/testbed/src/invariant_checker/slow_start.rs
@@ -3,18 +3,20 @@
 use super::rules::Rules;
 use super::verdict::Verdict;
 use crate::record::{Record, Reply, Seen};
+use crankpaddle_time::{nanoseconds, Time};
 use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
 
 const RULE: u8 = 4;
 
 /// The latest start of a server's process.
 struct Start {
-    at: u64,
+    at: Time,
     places: f64,
 }
 
 struct SentSetUp<'a> {
-    at: u64,
+    at: Time,
     front: &'a str,
 }
 
@@ -43,7 +45,7 @@
 }
 
 impl<'a> Checker<'a, '_> {
-    fn observe(&mut self, at: u64, seen: &'a Seen) {
+    fn observe(&mut self, at: Time, seen: &'a Seen) {
         match seen {
             Seen::Started { server, places } => {
                 let places = *places;
@@ -70,18 +72,18 @@
         }
     }
 
-    fn on_set_up(&mut self, at: u64, server: u32, front: &'a str) {
+    fn on_set_up(&mut self, at: Time, server: u32, front: &'a str) {
         let rules = self.evidence.rules;
         let Some(start) = self.starts.get(&server) else {
             return;
         };
-        let age = at - start.at;
+        let age = at.duration_since(start.at);
         if age >= rules.slow_start_duration {
             return;
         }
         let sent = self.recent_set_ups.entry(server).or_default();
         sent.push(SentSetUp { at, front });
-        sent.retain(|set_up| at - set_up.at < rules.overload_window);
+        sent.retain(|set_up| at.duration_since(set_up.at) < rules.overload_window);
         let count = sent.len();
         let allowed = allowed_set_ups(rules, start.places, age);
         let informed_count = sent
@@ -97,11 +99,12 @@
     }
 }
 
-/// Set-ups that a server of this age, in nanoseconds, can take within the overload window.
-fn allowed_set_ups(rules: &Rules, places: f64, age: u64) -> f64 {
-    let elapsed_part = age as f64 / rules.slow_start_duration as f64;
+/// Set-ups that a server of this age can take within the overload window.
+fn allowed_set_ups(rules: &Rules, places: f64, age: Duration) -> f64 {
+    let slow_start = nanoseconds(rules.slow_start_duration) as f64;
+    let elapsed_part = nanoseconds(age) as f64 / slow_start;
     let warm_up_progress =
         rules.slow_start_min_factor + (1.0 - rules.slow_start_min_factor) * elapsed_part;
-    let rate = places / rules.slow_start_duration as f64 * warm_up_progress;
-    rules.overload_multiple * rate * rules.overload_window as f64 + 1.0
+    let rate = places / slow_start * warm_up_progress;
+    rules.overload_multiple * rate * nanoseconds(rules.overload_window) as f64 + 1.0
 }
--- a/crates/testbed/src/invariant_checker/verdict.rs
+++ b/crates/testbed/src/invariant_checker/verdict.rs
@@ -1,4 +1,5 @@
 //! The result of a check: counts of calls and the breaches found.
+use crankpaddle_time::Time;
 use std::collections::BTreeSet;
 use std::fmt;
 
@@ -9,8 +10,8 @@
 pub struct Breach {
     /// Number of the rule, 1 to 6.
     pub rule: u8,
-    /// Time of the breach, nanoseconds.
-    pub at: u64,
+    /// Time of the breach.
+    pub at: Time,
     /// Description of the breach.
     pub what: String,
 }
@@ -42,7 +43,7 @@
         RULE_COUNT - broken_rules.len()
     }
 
-    pub(super) fn add_breach(&mut self, rule: u8, at: u64, what: String) {
+    pub(super) fn add_breach(&mut self, rule: u8, at: Time, what: String) {
         self.breaches.push(Breach { rule, at, what });
     }
 }
--- a/crates/testbed/src/list_service.rs
+++ b/crates/testbed/src/list_service.rs
@@ -7,6 +7,7 @@
 use crankpaddle_net::{accept_each, clock, listen, sleep, spawn, Socket, Stack, WriteBuffer};
 pub use crankpaddle_server_protocol::list::EndpointState;
 use crankpaddle_server_protocol::list::{self, EndpointEntry, EndpointListBody};
+use crankpaddle_time::{nanoseconds, Time};
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
@@ -16,8 +17,8 @@
 
 /// Interval at which due changes are sent.
 const TICK: Duration = Duration::from_millis(20);
-/// Nanoseconds between two heartbeats of a stream.
-const HEARTBEAT_INTERVAL: u64 = 500_000_000;
+/// Time between two heartbeats of a stream.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest request body, bytes.
 const MAX_BODY: u64 = 1024;
 /// Bytes that a stream may have unsent.
@@ -31,7 +32,7 @@
 
 /// A change that fronts receive later.
 struct DelayedChange {
-    due: u64,
+    due: Time,
     entry: EndpointEntry,
 }
 
@@ -55,7 +56,7 @@
     pub address: SocketAddr,
     recorder: Recorder,
     state: Mutex<State>,
-    /// Nanoseconds.
+    /// Delay of changes, nanoseconds.
     delay: AtomicU64,
     gone: AtomicBool,
 }
@@ -84,13 +85,13 @@
 }
 
 impl ListService {
-    /// Starts with a list that every front receives at once; changes are sent `delay` nanoseconds late.
+    /// Starts with a list that every front receives at once; changes are sent with this delay.
     ///
     /// # Errors
     /// No port can be listened on.
     pub fn start(
         servers: Vec<EndpointEntry>,
-        delay: u64,
+        delay: Duration,
         recorder: Recorder,
     ) -> io::Result<Arc<ListService>> {
         let listener = listen(([127, 0, 0, 1], 0).into())?;
@@ -102,7 +103,7 @@
             address: listener.local_addr()?,
             recorder,
             state: Mutex::new(state),
-            delay: AtomicU64::new(delay),
+            delay: AtomicU64::new(nanoseconds(delay)),
             gone: AtomicBool::new(false),
         });
         let acceptor = service.clone();
@@ -114,9 +115,9 @@
         Ok(service)
     }
 
-    /// Sets the delay of changes from now on, nanoseconds.
-    pub fn set_delay(&self, delay: u64) {
-        self.delay.store(delay, Ordering::Release);
+    /// Sets the delay of changes from now on.
+    pub fn set_delay(&self, delay: Duration) {
+        self.delay.store(nanoseconds(delay), Ordering::Release);
     }
 
     /// Makes the service unreachable (`true`): nobody is answered and streams break. Or reachable again.
@@ -132,17 +133,18 @@
 
     /// Changes an entry; fronts receive it after the delay.
     pub fn change(&self, entry: EndpointEntry) {
-        let due = clock::now().as_nanos() + self.delay.load(Ordering::Acquire);
+        let delay = Duration::from_nanos(self.delay.load(Ordering::Acquire));
+        let due = clock::now() + delay;
         let change = DelayedChange { due, entry };
         lock(&self.state).delayed.push_back(change);
     }
 
     /// Sends changes and heartbeats until the process ends.
     fn run(&self) {
-        let mut last_heartbeat = 0;
+        let mut last_heartbeat = Time::ZERO;
         loop {
             sleep(TICK);
-            let now = clock::now().as_nanos();
+            let now = clock::now();
             let heartbeat_due = now >= last_heartbeat + HEARTBEAT_INTERVAL;
             if heartbeat_due {
                 last_heartbeat = now;
@@ -151,7 +153,7 @@
         }
     }
 
-    fn notify_subscribers(&self, now: u64, heartbeat_due: bool) {
+    fn notify_subscribers(&self, now: Time, heartbeat_due: bool) {
         let mut state = lock(&self.state);
         let due = state.take_due(now);
         state.remove_closed();
@@ -218,7 +220,7 @@
 
 impl State {
     /// Takes out the changes that are due, in the order in which they were made.
-    fn take_due(&mut self, now: u64) -> Vec<EndpointEntry> {
+    fn take_due(&mut self, now: Time) -> Vec<EndpointEntry> {
         let mut due = Vec::new();
         for change in std::mem::take(&mut self.delayed) {
             if change.due <= now {
--- a/crates/testbed/src/model.rs
+++ b/crates/testbed/src/model.rs
@@ -3,25 +3,27 @@
 //! Where the demand of a link or of a rack's uplink exceeds its bandwidth, all sessions on it get the same share of their
 //! rates. A restarted server accepts set-ups at a rate that rises from a part of its full rate; a multiple of that within
 //! a time overloads it. Figures that come out of this are a model's.
+use crankpaddle_time::{nanoseconds, Time};
 use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
 
-/// What holds for all servers. Times in nanoseconds, rates in kB a second.
+/// What holds for all servers. Rates in kB a second.
 #[derive(Clone, Debug)]
 pub struct Spec {
     /// Cores of a server.
     pub cores: usize,
     /// Processor time of a set-up after the slow start.
-    pub work: u64,
+    pub work: Duration,
     /// Streams that a server runs at most.
     pub places: u32,
     /// Length of the slow start after a restart.
-    pub slow_start_duration: u64,
+    pub slow_start_duration: Duration,
     /// Part of its full rate that a server has at the beginning of its slow start.
     pub slow_start_min_factor: f64,
     /// A server in slow start is overloaded by more than this multiple of its present rate ...
     pub overload_multiple: f64,
     /// ... within this time.
-    pub overload_window: u64,
+    pub overload_window: Duration,
     /// Link demand from which a server rejects set-ups; 0: it never does for this reason.
     pub guard: f64,
 }
@@ -33,21 +35,21 @@
     pub rack: usize,
     /// Bandwidth of its link.
     pub link_kb: f64,
-    /// When it was started; 0: long ago.
-    started: u64,
+    /// When it was started; `None`: long ago.
+    started: Option<Time>,
     /// For each core the time until which it is busy.
-    busy_until: Vec<u64>,
+    busy_until: Vec<Time>,
     /// Rates of the streams.
     streams: BTreeMap<u64, f64>,
     /// Set-ups during the slow start within the overload window.
-    recent_set_ups: VecDeque<u64>,
+    recent_set_ups: VecDeque<Time>,
 }
 
 /// The result of a set-up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Taken {
     /// Accepted; the work is done at this time.
-    DoneAt(u64),
+    DoneAt(Time),
     /// Rejected for lack of capacity: it never ran.
     Full,
     /// The server was overloaded during its slow start and stops.
@@ -72,8 +74,8 @@
         let server = |(rack, link_kb): &(usize, f64)| Server {
             rack: *rack,
             link_kb: *link_kb,
-            started: 0,
-            busy_until: vec![0; spec.cores.max(1)],
+            started: None,
+            busy_until: vec![Time::ZERO; spec.cores.max(1)],
             streams: BTreeMap::new(),
             recent_set_ups: VecDeque::new(),
         };
@@ -92,20 +94,23 @@
 
     /// Part of its full rate that a server has reached.
     #[must_use]
-    pub fn warm_up_progress(&self, server: usize, now: u64) -> f64 {
-        let started = self.servers[server].started;
-        let age = now.saturating_sub(started) as f64 / self.spec.slow_start_duration.max(1) as f64;
-        if started == 0 || age >= 1.0 {
+    pub fn warm_up_progress(&self, server: usize, now: Time) -> f64 {
+        let Some(started) = self.servers[server].started else {
+            return 1.0;
+        };
+        let slow_start = nanoseconds(self.spec.slow_start_duration).max(1) as f64;
+        let age = nanoseconds(now.duration_since(started)) as f64 / slow_start;
+        if age >= 1.0 {
             return 1.0;
         }
         self.spec.slow_start_min_factor + (1.0 - self.spec.slow_start_min_factor) * age
     }
 
     /// Restarts a server: it is empty and in slow start.
-    pub fn start(&mut self, server: usize, now: u64) {
+    pub fn start(&mut self, server: usize, now: Time) {
         let server = &mut self.servers[server];
-        server.started = now;
-        server.busy_until.fill(0);
+        server.started = Some(now);
+        server.busy_until.fill(Time::ZERO);
         server.streams.clear();
         server.recent_set_ups.clear();
     }
@@ -114,7 +119,7 @@
     ///
     /// # Panics
     /// There is no server of this number.
-    pub fn set_up(&mut self, server: usize, stream: u64, kb: f64, now: u64) -> Taken {
+    pub fn set_up(&mut self, server: usize, stream: u64, kb: f64, now: Time) -> Taken {
         let warm_up_progress = self.warm_up_progress(server, now);
         let link_demand = self.link_demand(server);
         let spec = &self.spec;
@@ -130,7 +135,8 @@
         server.streams.insert(stream, kb);
         let core = server.busy_until.iter_mut().min();
         let core = core.expect("a server has a core");
-        *core = (*core).max(now) + (spec.work as f64 / warm_up_progress) as u64;
+        let work = nanoseconds(spec.work) as f64 / warm_up_progress;
+        *core = (*core).max(now) + Duration::from_nanos(work as u64);
         Taken::DoneAt(*core)
     }
 
@@ -180,16 +186,20 @@
 
 impl Server {
     /// Counts a set-up during the slow start; whether it is one too many.
-    fn is_overloaded_by_set_up(&mut self, spec: &Spec, warm_up_progress: f64, now: u64) -> bool {
-        if self.started == 0 || now >= self.started + spec.slow_start_duration {
+    fn is_overloaded_by_set_up(&mut self, spec: &Spec, warm_up_progress: f64, now: Time) -> bool {
+        let in_slow_start = self
+            .started
+            .is_some_and(|started| now < started + spec.slow_start_duration);
+        if !in_slow_start {
             return false;
         }
         self.recent_set_ups.push_back(now);
         self.recent_set_ups
-            .retain(|at| now - at < spec.overload_window);
-        let full_rate = f64::from(spec.places) / spec.slow_start_duration as f64;
+            .retain(|at| now.duration_since(*at) < spec.overload_window);
+        let full_rate = f64::from(spec.places) / nanoseconds(spec.slow_start_duration) as f64;
         let rate = full_rate * warm_up_progress;
-        let allowed = spec.overload_multiple * rate * spec.overload_window as f64 + 1.0;
+        let window = nanoseconds(spec.overload_window) as f64;
+        let allowed = spec.overload_multiple * rate * window + 1.0;
         self.recent_set_ups.len() as f64 > allowed
     }
 }
--- a/crates/testbed/src/player/attempt.rs
+++ b/crates/testbed/src/player/attempt.rs
@@ -1,10 +1,11 @@
 //! One attempt of a player to watch a title at a front.
-use super::{Client, PlayerPool, Visit, MILLISECOND, SECOND};
+use super::{Client, PlayerPool, Visit};
 use crate::record::{PlayerReply, Seen};
 use crankpaddle_net::{clock, sleep};
 use crankpaddle_server_protocol::sessions::bill;
 use crankpaddle_session_api::client::{self, ClientEvent};
 use crankpaddle_session_api::methods::Open;
+use crankpaddle_time::Time;
 use rand::rngs::StdRng;
 use rand::Rng;
 use std::net::SocketAddr;
@@ -12,7 +13,7 @@
 use std::time::Duration;
 
 /// After its deadline a player still listens for this long, so that a late answer is recorded.
-const LATE_ANSWER_WINDOW: u64 = SECOND;
+const LATE_ANSWER_WINDOW: Duration = Duration::from_secs(1);
 
 /// How an attempt ended.
 pub(super) enum Outcome {
@@ -20,8 +21,8 @@
     Watched,
     /// Rejected, failed in a way that allows another attempt, or disconnected.
     MayReturn {
-        /// The front's Retry-After, nanoseconds.
-        retry_after: Option<u64>,
+        /// The front's Retry-After.
+        retry_after: Option<Duration>,
     },
     /// The player does not return.
     DoesNotReturn,
@@ -38,14 +39,14 @@
     pub(super) front: u32,
     pub(super) address: SocketAddr,
     /// The visit ends at this time at the latest.
-    pub(super) until: u64,
+    pub(super) until: Time,
     /// Whether the player has made an attempt before.
     pub(super) returning: bool,
 }
 
 impl Attempt<'_> {
     /// The open request, with the time that is left of the player's patience.
-    fn open(&self, patience: u64) -> Open {
+    fn open(&self, patience: Duration) -> Open {
         let visit = self.visit;
         Open {
             key: self.key.clone(),
@@ -53,7 +54,7 @@
             class: visit.class.1.clone(),
             viewer: Some(format!("v{:x}", visit.seed)),
             top: Some(visit.top),
-            give_up_ms: Some(patience / MILLISECOND),
+            give_up_ms: Some(patience.as_millis() as u64),
             again: self.returning,
             ..Open::default()
         }
@@ -70,10 +71,10 @@
                 Outcome::MayReturn { retry_after: None }
             };
         };
-        let deadline = clock::now().as_nanos() + attempt.visit.patience;
+        let deadline = clock::now() + attempt.visit.patience;
         let mut call = self.send_open(&mut client, attempt, deadline);
         if rng.random_bool(self.habits.reconnect) {
-            sleep(Duration::from_nanos(rng.random_range(1..150) * MILLISECOND));
+            sleep(Duration::from_millis(rng.random_range(1..150)));
             client = match self.reconnect(client, call, attempt) {
                 Ok(fresh) => fresh,
                 Err(outcome) => return outcome,
@@ -81,7 +82,7 @@
             call = self.send_open(&mut client, attempt, deadline);
         }
         let answer = self.wait_for_answer(&mut client, call, deadline);
-        let disconnected = clock::now().as_nanos() < deadline + LATE_ANSWER_WINDOW;
+        let disconnected = clock::now() < deadline + LATE_ANSWER_WINDOW;
         match answer {
             Some(event) => self.on_answer(event, client, attempt),
             None if self.habits.keeps_key && disconnected => {
@@ -92,7 +93,7 @@
         }
     }
 
-    fn send_open(&self, client: &mut Client, attempt: &Attempt<'_>, deadline: u64) -> u64 {
+    fn send_open(&self, client: &mut Client, attempt: &Attempt<'_>, deadline: Time) -> u64 {
         let call = self.next_call.fetch_add(1, Ordering::Relaxed);
         self.recorder.see(Seen::OpenSent {
             call,
@@ -101,7 +102,7 @@
             class: attempt.visit.class.0,
             deadline,
         });
-        let open = attempt.open(deadline.saturating_sub(clock::now().as_nanos()));
+        let open = attempt.open(deadline.duration_since(clock::now()));
         let _ = client.send(client::open(call, &open)); // Its failure shows when the answer is read.
         call
     }
@@ -142,7 +143,7 @@
         &self,
         client: &mut Client,
         call: u64,
-        deadline: u64,
+        deadline: Time,
     ) -> Option<ClientEvent> {
         while let Ok(event) = client.next(deadline + LATE_ANSWER_WINDOW) {
             if let Some(reply) = reply_of(&event, call) {
@@ -165,7 +166,7 @@
             }
             ClientEvent::Refused { retry_after_ms, .. } => {
                 client.close();
-                let retry_after = retry_after_ms.map(|ms| ms * MILLISECOND);
+                let retry_after = retry_after_ms.map(Duration::from_millis);
                 Outcome::MayReturn { retry_after }
             }
             _ => {
@@ -184,7 +185,7 @@
     ) -> Outcome {
         let visit = attempt.visit;
         self.losses().watches(visit.seed, visit.class.0);
-        let left = attempt.until.saturating_sub(clock::now().as_nanos());
+        let left = attempt.until.duration_since(clock::now());
         let outcome = self.watch(client, session, media, visit.watch.min(left));
         if !matches!(outcome, Outcome::Watched) {
             self.losses().is_cut_off(visit.seed, visit.class.0);
--- a/crates/testbed/src/player/client.rs
+++ b/crates/testbed/src/player/client.rs
@@ -1,5 +1,5 @@
 //! A player's WebSocket connection to a front.
-use super::{CONNECT_TIMEOUT, SECOND};
+use super::CONNECT_TIMEOUT;
 use crankpaddle_http::head;
 use crankpaddle_net::exchange::HttpExchange;
 use crankpaddle_net::{clock, IdleSweeper, Socket, WriteBuffer};
@@ -18,8 +18,8 @@
 
 /// Bytes that a connection may have unsent.
 const SEND_BUFFER: usize = 1 << 20;
-/// Time for the front to answer a WebSocket close, nanoseconds.
-const CLOSE_TIMEOUT: u64 = SECOND / 5;
+/// Time for the front to answer a WebSocket close.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// A WebSocket connection to a front.
 pub struct Client {
@@ -137,18 +137,18 @@
     ///
     /// # Errors
     /// The time has come ([`ErrorKind::TimedOut`]) or the connection is closed.
-    pub fn next(&mut self, until: u64) -> io::Result<ClientEvent> {
+    pub fn next(&mut self, until: Time) -> io::Result<ClientEvent> {
         loop {
             if let Some(event) = self.poll()? {
                 return Ok(event);
             }
-            let now = clock::now().as_nanos();
+            let now = clock::now();
             if now >= until {
                 return Err(ErrorKind::TimedOut.into());
             }
-            self.outbox.socket().set_expiry(Time(until));
+            self.outbox.socket().set_expiry(until);
             self.outbox.socket().wait();
-            if self.outbox.socket().is_closed() && clock::now().as_nanos() >= until {
+            if self.outbox.socket().is_closed() && clock::now() >= until {
                 return Err(ErrorKind::TimedOut.into());
             }
             self.outbox.socket().set_expiry(Time::MAX);
@@ -163,8 +163,6 @@
     /// Closes the connection with a WebSocket close.
     pub fn close(mut self) {
         let _ = self.context.close(&mut Stream(&self.outbox), None); // The front may have closed it already.
-        self.outbox
-            .socket()
-            .finish(Duration::from_nanos(CLOSE_TIMEOUT));
+        self.outbox.socket().finish(CLOSE_TIMEOUT);
     }
 }
--- a/crates/testbed/src/player/mod.rs
+++ b/crates/testbed/src/player/mod.rs
@@ -12,6 +12,7 @@
 use attempt::{Attempt, Outcome};
 pub use client::Client;
 use crankpaddle_net::{clock, sleep, IdleSweeper};
+use crankpaddle_time::{nanoseconds, Time};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::net::SocketAddr;
@@ -19,8 +20,6 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-const MILLISECOND: u64 = 1_000_000;
-const SECOND: u64 = 1000 * MILLISECOND;
 /// Time to connect and do the handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Interval at which idle connections are looked for.
@@ -31,8 +30,8 @@
 pub struct Habits {
     /// Part that returns after a rejection or a failure.
     pub returns: f64,
-    /// Mean time until they return without a Retry-After, nanoseconds.
-    pub return_after: u64,
+    /// Mean time until they return without a Retry-After.
+    pub return_after: Duration,
     /// Part of them that follows a Retry-After.
     pub honour: f64,
     /// Part that reconnects during an attempt.
@@ -50,10 +49,10 @@
     pub title: String,
     /// Class by number and name.
     pub class: (u8, String),
-    /// Time to watch, nanoseconds.
-    pub watch: u64,
-    /// Time to wait for an answer, nanoseconds.
-    pub patience: u64,
+    /// Time to watch.
+    pub watch: Duration,
+    /// Time to wait for an answer.
+    pub patience: Duration,
     /// Highest rung that the player can use.
     pub top: u8,
     /// The fronts that the player chooses from, by number and address.
@@ -105,8 +104,8 @@
         self.leaving.store(true, Ordering::Release);
     }
 
-    fn stays(&self, until: u64) -> bool {
-        clock::now().as_nanos() < until && !self.leaving.load(Ordering::Acquire)
+    fn stays(&self, until: Time) -> bool {
+        clock::now() < until && !self.leaving.load(Ordering::Acquire)
     }
 
     /// Marks the power loss: a player that is cut off from now on has lost its session to it.
@@ -143,10 +142,10 @@
     ///
     /// # Panics
     /// The visit has no fronts.
-    pub fn visit(&self, visit: &Visit, until: u64) {
+    pub fn visit(&self, visit: &Visit, until: Time) {
         self.present.fetch_add(1, Ordering::AcqRel);
         let mut rng = StdRng::seed_from_u64(visit.seed);
-        let until = until.min(clock::now().as_nanos() + visit.watch + visit.patience);
+        let until = until.min(clock::now() + visit.watch + visit.patience);
         let mut returning = false;
         while self.stays(until) {
             let retry_after = match self.attempt_until_answered(visit, until, returning, &mut rng) {
@@ -167,7 +166,7 @@
     fn attempt_until_answered(
         &self,
         visit: &Visit,
-        until: u64,
+        until: Time,
         returning: bool,
         rng: &mut StdRng,
     ) -> Outcome {
@@ -183,9 +182,7 @@
         };
         let mut outcome = self.attempt(&attempt, rng);
         while matches!(outcome, Outcome::FrontLost) && self.habits.keeps_key && self.stays(until) {
-            sleep(Duration::from_nanos(
-                rng.random_range(20..200) * MILLISECOND,
-            ));
+            sleep(Duration::from_millis(rng.random_range(20..200)));
             if let Some(address) = (self.finder)(front) {
                 attempt.address = address;
                 attempt.returning = true;
@@ -196,9 +193,10 @@
     }
 
     /// The pause before a player returns.
-    fn pause(&self, retry_after: Option<u64>, rng: &mut StdRng) -> Duration {
-        let own = (self.habits.return_after as f64 * rng.random_range(0.7..1.3)) as u64;
+    fn pause(&self, retry_after: Option<Duration>, rng: &mut StdRng) -> Duration {
+        let mean = nanoseconds(self.habits.return_after) as f64;
+        let own = Duration::from_nanos((mean * rng.random_range(0.7..1.3)) as u64);
         let followed = retry_after.filter(|_| rng.random_bool(self.habits.honour));
-        Duration::from_nanos(followed.map_or(own, |advised| advised.max(own / 4)))
+        followed.map_or(own, |advised| advised.max(own / 4))
     }
 }
--- a/crates/testbed/src/player/watch.rs
+++ b/crates/testbed/src/player/watch.rs
@@ -1,6 +1,6 @@
 //! A player that watches: it fetches segments until it has seen enough or the session ends.
 use super::attempt::Outcome;
-use super::{Client, PlayerPool, CONNECT_TIMEOUT, MILLISECOND, SECOND};
+use super::{Client, PlayerPool, CONNECT_TIMEOUT};
 use crate::record::Seen;
 use crankpaddle_http::head;
 use crankpaddle_net::exchange::HttpExchange;
@@ -14,10 +14,10 @@
 
 /// Pause after a segment that could not be fetched.
 const FETCH_RETRY_INTERVAL: Duration = Duration::from_millis(100);
-/// Time for a segment beyond the end of the watching, nanoseconds.
-const SEGMENT_GRACE: u64 = SECOND;
-/// Time for the front to answer the close of a session, nanoseconds.
-const CLOSE_TIMEOUT: u64 = 2 * SECOND;
+/// Time for a segment beyond the end of the watching.
+const SEGMENT_GRACE: Duration = Duration::from_secs(1);
+/// Time for the front to answer the close of a session.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Where a session's media is.
 struct MediaLocation {
@@ -46,8 +46,8 @@
 }
 
 struct SessionOver {
-    /// The front's Retry-After, nanoseconds.
-    retry_after: Option<u64>,
+    /// The front's Retry-After.
+    retry_after: Option<Duration>,
 }
 
 /// The part of a segment that was read.
@@ -64,15 +64,15 @@
 }
 
 impl PlayerPool {
-    /// Watches a session for `time` nanoseconds.
+    /// Watches a session for `time`.
     pub(super) fn watch(
         &self,
         mut client: Client,
         session: &str,
         media: &str,
-        time: u64,
+        time: Duration,
     ) -> Outcome {
-        let until = clock::now().as_nanos() + time;
+        let until = clock::now() + time;
         let Some(location) = MediaLocation::parse(media) else {
             return Outcome::DoesNotReturn;
         };
@@ -90,7 +90,7 @@
                 sleep(FETCH_RETRY_INTERVAL);
             }
             let received = receive(&mut client);
-            if received.disconnected && self.habits.keeps_key && clock::now().as_nanos() < until {
+            if received.disconnected && self.habits.keeps_key && clock::now() < until {
                 self.recorder.see(Seen::Fetched { name, bytes });
                 return Outcome::FrontLost;
             }
@@ -108,7 +108,7 @@
     fn close_session(&self, mut client: Client, session: &str) {
         let call = self.next_call.fetch_add(1, Ordering::Relaxed);
         let _ = client.send(client::close(call, session)); // Without its front the session is over too.
-        let deadline = clock::now().as_nanos() + CLOSE_TIMEOUT;
+        let deadline = clock::now() + CLOSE_TIMEOUT;
         while let Ok(event) = client.next(deadline) {
             if matches!(event, ClientEvent::Closed { id } | ClientEvent::Unknown { id } if id == call)
             {
@@ -128,7 +128,7 @@
     loop {
         match client.poll() {
             Ok(Some(ClientEvent::End { retry_after_ms, .. })) => {
-                let retry_after = retry_after_ms.map(|ms| ms * MILLISECOND);
+                let retry_after = retry_after_ms.map(Duration::from_millis);
                 received.session_over = Some(SessionOver { retry_after });
             }
             Ok(Some(_)) => {}
@@ -150,7 +150,7 @@
 
 impl MediaReader<'_> {
     /// Fetches a segment; the next one uses a new connection where this one is incomplete.
-    fn fetch_segment(&mut self, until: u64) -> Fetched {
+    fn fetch_segment(&mut self, until: Time) -> Fetched {
         let fetched = self.try_fetch(until).unwrap_or(Fetched::NOTHING);
         if !fetched.complete {
             self.exchange = None;
@@ -159,7 +159,7 @@
     }
 
     /// `None` where the request failed before the body.
-    fn try_fetch(&mut self, until: u64) -> Option<Fetched> {
+    fn try_fetch(&mut self, until: Time) -> Option<Fetched> {
         let location = &self.location;
         let exchange = match &mut self.exchange {
             Some(exchange) => exchange,
@@ -169,7 +169,7 @@
                 none.insert(HttpExchange::new(socket))
             }
         };
-        exchange.socket.set_expiry(Time(until + SEGMENT_GRACE));
+        exchange.socket.set_expiry(until + SEGMENT_GRACE);
         let host = location.address.to_string();
         let request = head::request("GET", &location.target, &host, &[], b"");
         exchange.socket.write_all(&request).ok()?;
--- a/crates/testbed/src/record.rs
+++ b/crates/testbed/src/record.rs
@@ -1,5 +1,6 @@
 //! Records: what passed on the sockets, and when. Their JSON form is that of recordings on disk.
 use crankpaddle_net::clock;
+use crankpaddle_time::Time;
 use serde::{Deserialize, Serialize};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -50,9 +51,9 @@
         bill: String,
         /// Class by number.
         class: u8,
-        /// The player gives up at this time, nanoseconds.
-        #[serde(rename = "gives_up")]
-        deadline: u64,
+        /// The player gives up at this time.
+        #[serde(rename = "gives_up", with = "time_as_nanoseconds")]
+        deadline: Time,
     },
     /// A player received the answer to a call.
     #[serde(rename = "told")]
@@ -169,13 +170,30 @@
 /// An event and its time.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Record {
-    /// Nanoseconds of the test bed's one clock.
-    pub at: u64,
+    /// When it happened, on the test bed's one clock.
+    #[serde(with = "time_as_nanoseconds")]
+    pub at: Time,
     /// The event.
     #[serde(flatten)]
     pub seen: Seen,
 }
 
+/// The form of times in recordings: a number of nanoseconds.
+mod time_as_nanoseconds {
+    use crankpaddle_time::Time;
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    pub(super) fn serialize<S: Serializer>(time: &Time, serializer: S) -> Result<S::Ok, S::Error> {
+        time.as_nanos().serialize(serializer)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Time, D::Error> {
+        u64::deserialize(deserializer).map(Time)
+    }
+}
+
 /// Collects the records of all stand-ins. Copies share them.
 #[derive(Clone, Default)]
 pub struct Recorder(Arc<Mutex<Vec<Record>>>);
@@ -184,7 +202,7 @@
     /// Adds an event with the present time.
     pub fn see(&self, seen: Seen) {
         let mut records = self.lock();
-        let at = clock::now().as_nanos();
+        let at = clock::now();
         records.push(Record { at, seen });
     }
 
--- a/crates/testbed/src/scenario_runner/arrivals.rs
+++ b/crates/testbed/src/scenario_runner/arrivals.rs
@@ -1,33 +1,46 @@
 //! Arrivals of players, drawn ahead of the run: an open load that never waits for answers.
-use super::SECOND;
 use crate::player::Visit;
 use crate::script::{Day, Kind};
 use crankpaddle_config::Config;
+use crankpaddle_time::nanoseconds;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use std::time::Duration;
 
 /// Part of the players that ask for half of the rungs only.
 const SMALL_SCREEN_PART: f64 = 0.25;
 
-/// Draws the arrivals of a day: the time of each from the day's start, nanoseconds, and the visit.
+const NANOSECONDS_PER_SECOND: f64 = 1e9;
+
+/// A player that comes.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When, from the day's start.
+    pub at: Duration,
+    /// What the player does.
+    pub visit: Visit,
+}
+
+/// Draws the arrivals of a day, in the order of their times.
 ///
 /// # Panics
 /// The configuration has no titles or fewer classes than the day.
 #[must_use]
-pub fn arrivals(day: &Day, config: &Config, seed: u64) -> Vec<(u64, Visit)> {
+pub fn arrivals(day: &Day, config: &Config, seed: u64) -> Vec<Arrival> {
     let mut generator = Generator::new(day, config, seed);
     let mut all = Vec::new();
-    let mut at = 0.0;
+    let mut seconds = 0.0;
     loop {
-        at += generator.exponential(1.0 / generator.peak_rate);
-        if at >= day.seconds() {
+        seconds += generator.exponential(1.0 / generator.peak_rate);
+        if seconds >= day.seconds() {
             return all;
         }
-        let time = (at * SECOND as f64) as u64;
-        let rate_part = (day.rate_at(time) / generator.peak_rate).min(1.0);
+        let at = Duration::from_nanos((seconds * NANOSECONDS_PER_SECOND) as u64);
+        let rate_part = (day.rate_at(at) / generator.peak_rate).min(1.0);
         // A Poisson process with a varying rate: drawn at the peak rate, then thinned.
         if generator.rng.random_bool(rate_part) {
-            all.push((time, generator.visit(time)));
+            let visit = generator.visit(at);
+            all.push(Arrival { at, visit });
         }
     }
 }
@@ -69,28 +82,28 @@
     }
 
     /// Draws a visit. The order of the draws decides what a seed gives.
-    fn visit(&mut self, time: u64) -> Visit {
-        let title = self.title(time);
+    fn visit(&mut self, at: Duration) -> Visit {
+        let title = self.title(at);
         let class = pick(&mut self.rng, &self.day.share).unwrap_or(0);
         let rungs = self.config.settings.rung_kb.len() as u8;
         let small_screen = self.rng.random_bool(SMALL_SCREEN_PART);
         let seed = self.rng.random();
         let mean_watch = self.day.watch;
-        let watch = self.exponential(mean_watch as f64) as u64;
+        let watch = self.exponential(nanoseconds(mean_watch) as f64) as u64;
         Visit {
             seed,
             title: self.titles[title].clone(),
             class: (class as u8, self.config.classes[class].clone()),
-            watch: watch.clamp(mean_watch / 10, mean_watch * 4),
-            patience: self.config.terms.max_wait[class],
+            watch: Duration::from_nanos(watch).clamp(mean_watch / 10, mean_watch * 4),
+            patience: Duration::from_nanos(self.config.terms.max_wait[class]),
             top: if small_screen { rungs / 2 } else { rungs - 1 },
             fronts: Vec::new(),
         }
     }
 
     /// The title by number: that of a load surge for its part of the players, otherwise by popularity.
-    fn title(&mut self, time: u64) -> usize {
-        if let Some((title, part)) = self.day.load_surge_at(time) {
+    fn title(&mut self, at: Duration) -> usize {
+        if let Some((title, part)) = self.day.load_surge_at(at) {
             if self.rng.random_bool(part) {
                 return title % self.titles.len();
             }
--- a/crates/testbed/src/scenario_runner/mod.rs
+++ b/crates/testbed/src/scenario_runner/mod.rs
@@ -19,11 +19,12 @@
 use crate::script::{fleet_config, Day};
 use crate::server::{Fleet, Layout};
 use crate::udp_proxy::{write_key, Mesh};
-pub use arrivals::arrivals;
+pub use arrivals::{arrivals, Arrival};
 use crankpaddle_config::Config;
 use crankpaddle_cross_zone_traffic::report::{merge, TrafficReport};
 use crankpaddle_net::clock;
 use crankpaddle_server_protocol::list::EndpointState;
+use crankpaddle_time::{nanoseconds, Time};
 use crankpaddle_traffic_report::fetch;
 pub use recording::{read_records, write_records};
 use stage::{Front, Stage};
@@ -34,12 +35,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-const MILLISECOND: u64 = 1_000_000;
-const SECOND: u64 = 1000 * MILLISECOND;
-/// Tolerance of the rules for scheduling, nanoseconds: stand-ins and players share the cores with the fronts.
-pub const TIMING_TOLERANCE: u64 = 150 * MILLISECOND;
-/// Grace of the rules for draining servers, nanoseconds.
-pub const DRAIN_GRACE: u64 = SECOND;
+/// Tolerance of the rules for scheduling: stand-ins and players share the cores with the fronts.
+pub const TIMING_TOLERANCE: Duration = Duration::from_millis(150);
+/// Grace of the rules for draining servers.
+pub const DRAIN_GRACE: Duration = Duration::from_secs(1);
 /// Seconds that a front may take to settle its traffic report.
 const SETTLED_WITHIN_SECONDS: u32 = 15;
 /// Time for one request of a traffic report.
@@ -81,8 +80,8 @@
     pub crossed: Crossed,
     /// The fronts' traffic reports, merged.
     pub reported: TrafficReport,
-    /// When arrivals began, nanoseconds of the test bed's clock.
-    pub start: u64,
+    /// When arrivals began, on the test bed's clock.
+    pub start: Time,
 }
 
 impl Outcome {
@@ -146,7 +145,7 @@
     let config = &stage.config;
     let peering = Peering::start(day, play)?;
     let mut fronts = start_fronts(day, play, &stage, peering.as_ref())?;
-    let start = clock::now().as_nanos();
+    let start = clock::now();
     let run_result = timeline::run(day, play, &stage, &fronts);
     let addresses = fronts.iter().map(|front| &front.process.address);
     let reported = merge(addresses.filter_map(settled_report));
@@ -196,7 +195,7 @@
 }
 
 /// Starts a list service that has all servers of a fleet as ready.
-pub(crate) fn start_list(fleet: &Fleet, delay: u64) -> io::Result<Arc<ListService>> {
+pub(crate) fn start_list(fleet: &Fleet, delay: Duration) -> io::Result<Arc<ListService>> {
     let listing = |server: &Arc<crate::server::Server>| {
         let (id, address) = (server.id, server.address);
         entry(&fleet.config, id, address, EndpointState::Ready, 0)
@@ -299,8 +298,9 @@
         let (sent, read) = (self.sent, self.read);
         let mean = read.checked_div(self.watched_sessions).unwrap_or(0);
         // A session that breaks off leaves at most a segment between the two counts.
-        let segment = day.segment.max(1);
-        let allowed = sent / 50 + mean * segment / day.watch.max(1) * 10;
+        let segment = nanoseconds(day.segment).max(1);
+        let watch = nanoseconds(day.watch).max(1);
+        let allowed = sent / 50 + mean * segment / watch * 10;
         (sent.abs_diff(read) > allowed + BYTE_TOLERANCE)
             .then(|| format!("servers sent {sent} media bytes and players read {read}"))
     }
--- a/crates/testbed/src/scenario_runner/stage.rs
+++ b/crates/testbed/src/scenario_runner/stage.rs
@@ -1,5 +1,5 @@
 //! The fronts and stand-ins of a day, and how its faults begin and end at them.
-use super::{Play, MILLISECOND};
+use super::Play;
 use crate::fault_mode::ResponseFault;
 use crate::list_service::{entry, ListService};
 use crate::process::{with_workers, Process};
@@ -13,6 +13,9 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
+
+const NANOSECONDS_PER_MILLISECOND: u64 = 1_000_000;
 
 /// A front's process.
 pub(super) struct Front {
@@ -51,15 +54,15 @@
     pub(super) fleet: Arc<Fleet>,
     pub(super) list: Arc<ListService>,
     pub(super) recorder: Recorder,
-    /// Delay of the list service without faults, nanoseconds.
-    pub(super) list_delay: u64,
+    /// Delay of the list service without faults.
+    pub(super) list_delay: Duration,
 }
 
 impl Stage {
     fn change_listing(&self, server: u32, state: EndpointState) {
         let address = self.fleet.servers[server as usize].address;
         let started_ms = if state == EndpointState::Ready {
-            clock::now().as_nanos() / MILLISECOND
+            clock::now().as_nanos() / NANOSECONDS_PER_MILLISECOND
         } else {
             0
         };
@@ -74,7 +77,7 @@
         }
         match &fault.kind {
             Kind::Slow(by) => self.fleet.set_slow(*by),
-            Kind::ListLate(by) => self.list.set_delay(self.list_delay + by),
+            Kind::ListLate(by) => self.list.set_delay(self.list_delay + *by),
             Kind::ListGone => self.list.set_gone(true),
             Kind::Stall(which) => {
                 for &front in which {
--- a/crates/testbed/src/scenario_runner/timeline.rs
+++ b/crates/testbed/src/scenario_runner/timeline.rs
@@ -1,10 +1,11 @@
 //! The run of a day: its faults and arrivals in the order of their times, then the wait for its end.
 use super::stage::{Front, Stage};
-use super::{arrivals, habits, Play, SECOND};
-use crate::player::{PlayerPool, Visit};
+use super::{arrivals, habits, Arrival, Play};
+use crate::player::PlayerPool;
 use crate::script::{Day, Fault};
 use crate::wind_down::{wait_for_players, wait_for_streams};
 use crankpaddle_net::{clock, spawn, Stack};
+use crankpaddle_time::Time;
 use std::io;
 use std::iter::Peekable;
 use std::net::SocketAddr;
@@ -13,13 +14,13 @@
 use std::vec::IntoIter;
 
 /// After the day's end sessions are watched for this long at most.
-const WATCH_AFTER_END: u64 = 10 * SECOND;
+const WATCH_AFTER_END: Duration = Duration::from_secs(10);
 /// After the last arrival the players have this long to leave.
-const PLAYERS_LEAVE_WITHIN: u64 = 40 * SECOND;
+const PLAYERS_LEAVE_WITHIN: Duration = Duration::from_secs(40);
 
-/// The begin or end of a fault; nanoseconds from the start of the day.
+/// The begin or end of a fault, and its time from the start of the day.
 struct Transition<'a> {
-    at: u64,
+    at: Duration,
     begins: bool,
     fault: &'a Fault,
 }
@@ -34,9 +35,9 @@
     players: Arc<PlayerPool>,
     fronts_by_zone: Vec<FrontAddresses>,
     transitions: Peekable<IntoIter<Transition<'a>>>,
-    visits: Peekable<IntoIter<(u64, Visit)>>,
+    arrivals: Peekable<IntoIter<Arrival>>,
     /// When the day started.
-    start: u64,
+    start: Time,
 }
 
 /// Runs a day; what was not as it must be outside the rules.
@@ -54,11 +55,11 @@
         fronts,
         players: players.clone(),
         transitions: transitions(day).into_iter().peekable(),
-        visits: arrivals(day, &stage.config, play.seed)
+        arrivals: arrivals(day, &stage.config, play.seed)
             .into_iter()
             .peekable(),
         fronts_by_zone: zones.map(|zone| fronts_for_zone(fronts, zone)).collect(),
-        start: clock::now().as_nanos(),
+        start: clock::now(),
     };
     let deadline = timeline.start + day.length + PLAYERS_LEAVE_WITHIN;
     timeline.run_to_end()?;
@@ -111,16 +112,16 @@
     fn run_to_end(&mut self) -> io::Result<()> {
         loop {
             let next_transition = self.transitions.peek().map(|transition| transition.at);
-            let next_visit = self.visits.peek().map(|(at, _)| *at);
-            let Some(next) = next_transition.into_iter().chain(next_visit).min() else {
+            let next_arrival = self.arrivals.peek().map(|arrival| arrival.at);
+            let Some(next) = next_transition.into_iter().chain(next_arrival).min() else {
                 return Ok(());
             };
-            let wait = (self.start + next).saturating_sub(clock::now().as_nanos());
-            std::thread::sleep(Duration::from_nanos(wait));
+            let wait = (self.start + next).duration_since(clock::now());
+            std::thread::sleep(wait);
             if next_transition == Some(next) {
                 self.apply_next_transition()?;
             } else {
-                self.start_next_visit();
+                self.start_next_arrival();
             }
         }
     }
@@ -136,8 +137,8 @@
         self.stage.end(fault, self.fronts)
     }
 
-    fn start_next_visit(&mut self) {
-        let Some((at, mut visit)) = self.visits.next() else {
+    fn start_next_arrival(&mut self) {
+        let Some(Arrival { at, mut visit }) = self.arrivals.next() else {
             return;
         };
         let zones = self.fronts_by_zone.len() as u64;
--- a/crates/testbed/src/script/check.rs
+++ b/crates/testbed/src/script/check.rs
@@ -5,6 +5,7 @@
 use crankpaddle_textproto::Checks;
 use schema::fault::Kind as RawKind;
 use std::fmt;
+use std::time::Duration;
 
 #[allow(missing_docs, unreachable_pub)] // Generated; the schema has comments of its own.
 mod schema {
@@ -72,6 +73,11 @@
     }
 }
 
+/// A duration as a script states it.
+fn duration(checks: &mut Checks<'_>, path: &str, text: &str) -> Duration {
+    Duration::from_nanos(checks.time(path, text))
+}
+
 fn check_server_count(checks: &mut Checks<'_>, count: u32, cells: u32) -> u32 {
     let count = checks.count("servers.count", count, 1, 500);
     if count < cells {
@@ -104,7 +110,7 @@
         zones: &size.zones,
         servers: server_count,
         fronts: checks.count("fronts", raw.fronts, 1, 200),
-        day_length: checks.time("length", &raw.length),
+        day_length: duration(checks, "length", &raw.length),
     };
     let mut faults = Vec::new();
     for (index, fault) in raw.fault.iter().enumerate() {
@@ -126,19 +132,19 @@
         fleet_without_budgets,
         servers: server_count,
         cores: checks.count("servers.cores", servers.cores, 1, 256),
-        work: checks.time("servers.set_up_work", &servers.set_up_work),
+        work: duration(checks, "servers.set_up_work", &servers.set_up_work),
         uneven: checks.within("servers.uneven", servers.uneven, 0.0, 0.9),
-        segment: checks.time("servers.segment", &servers.segment),
+        segment: duration(checks, "servers.segment", &servers.segment),
         rate: checks.within("traffic.rate", traffic.rate, 0.001, 1e6),
         share: traffic.share.clone(),
-        watch: checks.time("traffic.watch", &traffic.watch),
+        watch: duration(checks, "traffic.watch", &traffic.watch),
         zipf: checks.within("traffic.zipf", traffic.zipf, 0.0, 5.0),
         returns: checks.within("traffic.returns", traffic.returns, 0.0, 1.0),
-        return_after: checks.time("traffic.back_after", &traffic.back_after),
+        return_after: duration(checks, "traffic.back_after", &traffic.back_after),
         honour: checks.within("traffic.honour", traffic.honour, 0.0, 1.0),
         reconnect: checks.within("traffic.reconnect", traffic.reconnect, 0.0, 1.0),
         faults,
-        list_delay: checks.time("list_delay", &raw.list_delay),
+        list_delay: duration(checks, "list_delay", &raw.list_delay),
     }
 }
 
@@ -147,8 +153,7 @@
     zones: &'a [String],
     servers: u32,
     fronts: u32,
-    /// Nanoseconds.
-    day_length: u64,
+    day_length: Duration,
 }
 
 struct FaultCheck<'a, 't> {
@@ -161,9 +166,9 @@
 impl FaultCheck<'_, '_> {
     fn check(mut self, raw: &schema::Fault) -> Fault {
         let at_path = self.field("at");
-        let at = self.checks.time(&at_path, &raw.at);
+        let at = duration(self.checks, &at_path, &raw.at);
         let length_path = self.field("length");
-        let length = self.checks.time(&length_path, &raw.length);
+        let length = duration(self.checks, &length_path, &raw.length);
         let in_day = at < self.scope.day_length;
         self.checks.must(in_day, &at_path, "is after the day's end");
         let servers = self.servers(raw);
@@ -231,7 +236,7 @@
             RawKind::Crowd(f) => Kind::LoadSurge(f.title as usize, self.part("crowd.part", f.part)),
             RawKind::ListLate(f) => {
                 let path = self.field("list_late.by");
-                Kind::ListLate(self.checks.time(&path, &f.by))
+                Kind::ListLate(duration(self.checks, &path, &f.by))
             }
             RawKind::ListGone(_) => Kind::ListGone,
             RawKind::Stall(f) => self.stall(f),
@@ -254,9 +259,9 @@
     fn response_fault(&mut self, raw: &schema::Astray) -> Kind {
         let late_path = self.field("astray.late");
         let late = if raw.late.is_empty() {
-            0
+            Duration::ZERO
         } else {
-            self.checks.time(&late_path, &raw.late)
+            duration(self.checks, &late_path, &raw.late)
         };
         Kind::ResponseFault(ResponseFault {
             late,
--- a/crates/testbed/src/script/mod.rs
+++ b/crates/testbed/src/script/mod.rs
@@ -6,8 +6,10 @@
 use crate::fault_mode::ResponseFault;
 pub use check::parse;
 use crankpaddle_config::{Config, Problem};
+use crankpaddle_time::nanoseconds;
+use std::time::Duration;
 
-const SECOND: f64 = 1e9;
+const NANOSECONDS_PER_SECOND: f64 = 1e9;
 
 /// The built-in fleet: a configuration without its front block.
 pub const FLEET: &str = include_str!("../../days/fleet.textproto");
@@ -55,8 +57,8 @@
     Burst(f64),
     /// This part of the players wants this title, by number.
     LoadSurge(usize, f64),
-    /// The list service is late by this many more nanoseconds.
-    ListLate(u64),
+    /// The list service is late by this much more.
+    ListLate(Duration),
     /// The list service does not answer.
     ListGone,
     /// The processes of these fronts are stopped.
@@ -71,26 +73,26 @@
     ResponseFault(ResponseFault),
 }
 
-/// A fault and its time, nanoseconds from the start of the day.
+/// A fault and its time.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Fault {
-    /// Its begin.
-    pub at: u64,
+    /// Its begin, from the start of the day.
+    pub at: Duration,
     /// Its length.
-    pub length: u64,
+    pub length: Duration,
     /// The servers it falls on.
     pub servers: Vec<u32>,
     /// What it does.
     pub kind: Kind,
 }
 
-/// A checked day. Times in nanoseconds.
+/// A checked day.
 #[derive(Clone, Debug)]
 pub struct Day {
     /// Its name.
     pub name: String,
     /// Time in which players arrive.
-    pub length: u64,
+    pub length: Duration,
     /// Number of fronts.
     pub fronts: u32,
     /// Text of the fronts' configuration, without the front block.
@@ -102,23 +104,23 @@
     /// Cores of each server.
     pub cores: u32,
     /// Processor time of a set-up.
-    pub work: u64,
+    pub work: Duration,
     /// Part by which the bandwidths of links differ.
     pub uneven: f64,
     /// Length of a segment.
-    pub segment: u64,
+    pub segment: Duration,
     /// New sessions a second.
     pub rate: f64,
     /// Part of the sessions of each class.
     pub share: Vec<f64>,
     /// Mean time watched.
-    pub watch: u64,
+    pub watch: Duration,
     /// Exponent of the titles' popularity.
     pub zipf: f64,
     /// Part of the viewers that return after a rejection or a failure.
     pub returns: f64,
     /// Mean time until they return without a Retry-After.
-    pub return_after: u64,
+    pub return_after: Duration,
     /// Part of them that follows a Retry-After.
     pub honour: f64,
     /// Part of the players that reconnect during an attempt.
@@ -126,7 +128,7 @@
     /// Its faults.
     pub faults: Vec<Fault>,
     /// Delay of the list service.
-    pub list_delay: u64,
+    pub list_delay: Duration,
 }
 
 /// The front's block of a configuration, for one of `siblings` fronts.
@@ -162,7 +164,7 @@
 }
 
 impl Fault {
-    fn is_active(&self, at: u64) -> bool {
+    fn is_active(&self, at: Duration) -> bool {
         (self.at..self.at + self.length).contains(&at)
     }
 }
@@ -170,7 +172,7 @@
 impl Day {
     /// New sessions a second at a time of the day; a load surge adds none.
     #[must_use]
-    pub fn rate_at(&self, at: u64) -> f64 {
+    pub fn rate_at(&self, at: Duration) -> f64 {
         let active = self.faults.iter().filter(|fault| fault.is_active(at));
         let factors = active.map(|fault| match fault.kind {
             Kind::Burst(times) => times,
@@ -181,7 +183,7 @@
 
     /// The load surge at a time of the day: its title and its part of the players.
     #[must_use]
-    pub fn load_surge_at(&self, at: u64) -> Option<(usize, f64)> {
+    pub fn load_surge_at(&self, at: Duration) -> Option<(usize, f64)> {
         self.faults
             .iter()
             .filter(|fault| fault.is_active(at))
@@ -194,7 +196,7 @@
     /// Seconds in which players arrive.
     #[must_use]
     pub fn seconds(&self) -> f64 {
-        self.length as f64 / SECOND
+        nanoseconds(self.length) as f64 / NANOSECONDS_PER_SECOND
     }
 }
 
--- a/crates/testbed/src/server/fleet.rs
+++ b/crates/testbed/src/server/fleet.rs
@@ -1,6 +1,6 @@
 //! The fleet of stand-in servers: their layout, their restarts and the faults that a scenario switches on.
 use super::session::Session;
-use super::{lock, Server, MILLISECOND};
+use super::{lock, Server};
 use crate::fault_mode::Mode;
 use crate::model::{Model, Spec};
 use crate::record::{Recorder, Seen};
@@ -14,8 +14,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// Nanoseconds until which the port of a stopped server must be free again.
-const PORT_FREE_WITHIN: u64 = 5_000 * MILLISECOND;
+/// Time within which the port of a stopped server must be free again.
+const PORT_FREE_WITHIN: Duration = Duration::from_secs(5);
 /// Pause between two attempts to listen on that port.
 const LISTEN_RETRY_INTERVAL: Duration = Duration::from_millis(5);
 /// Interval at which idle connections are looked for.
@@ -31,8 +31,8 @@
     pub recorder: Recorder,
     pub(crate) model: Mutex<Model>,
     pub(super) sweeper: IdleSweeper,
-    /// Length of a segment, nanoseconds.
-    pub(super) segment: u64,
+    /// Length of a segment.
+    pub(super) segment: Duration,
     /// Number of the next stream.
     pub(super) next_stream: AtomicU64,
     random_draws: AtomicU64,
@@ -47,12 +47,12 @@
     pub count: usize,
     /// Cores of each server.
     pub cores: usize,
-    /// Processor time of a set-up, nanoseconds.
-    pub work: u64,
+    /// Processor time of a set-up.
+    pub work: Duration,
     /// Part by which the bandwidths of links and uplinks differ.
     pub uneven: f64,
-    /// Length of a segment, nanoseconds.
-    pub segment: u64,
+    /// Length of a segment.
+    pub segment: Duration,
     /// Seed for bandwidths and random faults.
     pub seed: u64,
 }
@@ -70,10 +70,10 @@
             cores: self.cores,
             work: self.work,
             places: settings.stream_capacity[0],
-            slow_start_duration: settings.slow_start_duration,
+            slow_start_duration: Duration::from_nanos(settings.slow_start_duration),
             slow_start_min_factor: settings.slow_start_min_factor,
             overload_multiple: settings.overload_multiple,
-            overload_window: settings.overload_window,
+            overload_window: Duration::from_nanos(settings.overload_window),
             guard: settings.server_rejection_threshold,
         };
         let racks = settings.racks as usize;
@@ -151,7 +151,7 @@
     pub fn restart(self: &Arc<Fleet>, id: u32) -> io::Result<()> {
         let server = &self.servers[id as usize];
         let listener = listen_once_free(server.address)?;
-        lock(&self.model).start(id as usize, clock::now().as_nanos());
+        lock(&self.model).start(id as usize, clock::now());
         *lock(&server.mode) = Mode::default();
         server.begin_incarnation();
         let places = f64::from(self.config.settings.stream_capacity[0]);
@@ -198,12 +198,10 @@
 }
 
 fn listen_once_free(address: SocketAddr) -> io::Result<TcpListener> {
-    let deadline = clock::now().as_nanos() + PORT_FREE_WITHIN;
+    let deadline = clock::now() + PORT_FREE_WITHIN;
     loop {
         match listen(address) {
-            Err(e)
-                if e.kind() == io::ErrorKind::AddrInUse && clock::now().as_nanos() < deadline =>
-            {
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse && clock::now() < deadline => {
                 std::thread::sleep(LISTEN_RETRY_INTERVAL);
             }
             result => return result,
--- a/crates/testbed/src/server/mod.rs
+++ b/crates/testbed/src/server/mod.rs
@@ -27,7 +27,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
-const MILLISECOND: u64 = 1_000_000;
 /// Longest request body, bytes.
 const MAX_BODY: u64 = 64 * 1024;
 /// How often a vanished server checks whether it is reachable again.
--- a/crates/testbed/src/server/session.rs
+++ b/crates/testbed/src/server/session.rs
@@ -1,6 +1,7 @@
 //! The state of one session at a stand-in server.
 use crankpaddle_server_protocol::session_inventory::InventorySession;
 use crankpaddle_server_protocol::sessions::SetUpBody;
+use crankpaddle_time::Time;
 
 /// A session that is being set up or plays.
 pub(crate) struct Session {
@@ -22,7 +23,7 @@
     /// Whether its set-up is complete.
     pub(crate) plays: bool,
     /// When its last piece of media was due: pieces follow a clock, not each other.
-    pub(super) media_due: u64,
+    pub(super) media_due: Time,
 }
 
 impl Session {
@@ -39,7 +40,7 @@
             rung: order.rung,
             bytes: 0,
             plays: false,
-            media_due: 0,
+            media_due: Time::ZERO,
         }
     }
 
--- a/crates/testbed/src/server/sessions.rs
+++ b/crates/testbed/src/server/sessions.rs
@@ -1,12 +1,14 @@
 //! Requests about the sessions of a stand-in server: inventory, change of rung, tear-down.
 use super::session::Session;
-use super::{lock, Fleet, Server, MILLISECOND};
+use super::{lock, Fleet, Server};
 use crate::record::Seen;
 use crankpaddle_http::head;
 use crankpaddle_http::problem::Problem;
 use crankpaddle_net::clock;
 use crankpaddle_server_protocol::sessions::{RungBody, TearDownResult};
+use crankpaddle_time::Time;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 const JSON: [(&str, &str); 1] = [("content-type", "application/json")];
 
@@ -26,17 +28,16 @@
             .map(|(name, session)| session.inventory_entry(name))
             .collect();
         let in_progress = of_front(false).map(|(name, _)| name.clone()).collect();
-        let age_ms = self.age() / MILLISECOND;
+        let age_ms = self.age().as_millis() as u64;
         let inventory = lock(&self.ledger).inventory(front, age_ms, active, in_progress);
         let body = serde_json::to_vec(&inventory).unwrap_or_default();
         head::response(200, &JSON, &body)
     }
 
-    /// Nanoseconds since the server's process started.
-    pub(super) fn age(&self) -> u64 {
-        clock::now()
-            .as_nanos()
-            .saturating_sub(self.started_at.load(Ordering::Acquire))
+    /// Time since the server's process started.
+    pub(super) fn age(&self) -> Duration {
+        let started_at = Time(self.started_at.load(Ordering::Acquire));
+        clock::now().duration_since(started_at)
     }
 
     pub(super) fn set_rung(&self, fleet: &Fleet, name: &str, body: &[u8]) -> Vec<u8> {
--- a/crates/testbed/src/server/set_up.rs
+++ b/crates/testbed/src/server/set_up.rs
@@ -9,6 +9,7 @@
 use crankpaddle_http::problem::Problem;
 use crankpaddle_net::{clock, sleep, Socket};
 use crankpaddle_server_protocol::sessions::{SetUpBody, FULL};
+use crankpaddle_time::Time;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
@@ -133,14 +134,10 @@
     }
 
     /// Reserves capacity; the time at which the work of the set-up is done.
-    fn reserve(&self, stream: u64, class: usize) -> Result<u64, Unsuccessful> {
+    fn reserve(&self, stream: u64, class: usize) -> Result<Time, Unsuccessful> {
         let rate = self.fleet.rate(class, self.order.rung);
-        let taken = lock(&self.fleet.model).set_up(
-            self.server.id as usize,
-            stream,
-            rate,
-            clock::now().as_nanos(),
-        );
+        let taken =
+            lock(&self.fleet.model).set_up(self.server.id as usize, stream, rate, clock::now());
         match taken {
             Taken::DoneAt(time) => Ok(time),
             Taken::Full => {
@@ -161,13 +158,10 @@
     }
 
     /// Waits until the work is done, or for as long as the server hangs; whether the set-up was billed meanwhile.
-    fn work_until(&self, done_at: u64, paid: bool) -> Result<bool, Unsuccessful> {
+    fn work_until(&self, done_at: Time, paid: bool) -> Result<bool, Unsuccessful> {
         let mut billed = false;
-        while clock::now().as_nanos() < done_at
-            || self.server.mode().hangs
-            || self.server.mode().vanished
-        {
-            if self.mode.hangs && clock::now().as_nanos() >= done_at && !billed && paid {
+        while clock::now() < done_at || self.server.mode().hangs || self.server.mode().vanished {
+            if self.mode.hangs && clock::now() >= done_at && !billed && paid {
                 // Why: this is the fault under test, a session that ran although nobody is notified.
                 billed = true;
                 self.server.bill(self.fleet, self.name, &self.order);
--- a/crates/testbed/src/server/streams.rs
+++ b/crates/testbed/src/server/streams.rs
@@ -1,18 +1,19 @@
 //! Responses that a stand-in server sends for as long as they are read: media segments and event streams.
 use super::session::Session;
-use super::{lock, Fleet, Server, MILLISECOND};
+use super::{lock, Fleet, Server};
 use crankpaddle_http::problem::Problem;
 use crankpaddle_net::{clock, sleep, Socket, WriteBuffer};
 use crankpaddle_server_protocol::event_stream::{self, StreamStart};
+use crankpaddle_time::{nanoseconds, Time};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
-const SECOND: u64 = 1000 * MILLISECOND;
+const NANOSECONDS_PER_SECOND: u64 = 1_000_000_000;
 /// Media is sent in this many pieces a second.
 const PIECES_PER_SECOND: u64 = 10;
-/// A segment requested this soon after the previous one was due continues its schedule, nanoseconds.
-const SCHEDULE_GAP: u64 = 100 * MILLISECOND;
+/// A segment requested this soon after the previous one was due continues its schedule.
+const SCHEDULE_GAP: Duration = Duration::from_millis(100);
 /// Filler of media, the sync byte of a transport stream.
 const MEDIA_BYTE: u8 = 0x47;
 /// Bytes that an event stream may have unsent.
@@ -32,7 +33,7 @@
             let not_found = Problem::of(404, "no such session").response(&[]);
             return socket.write_all(&not_found).is_ok();
         };
-        let seconds = fleet.segment as f64 / SECOND as f64;
+        let seconds = nanoseconds(fleet.segment) as f64 / NANOSECONDS_PER_SECOND as f64;
         let size = ((kb * 1000.0 * seconds) as usize).max(1);
         let head =
             format!("HTTP/1.1 200 OK\r\ncontent-type: video/mp4\r\ncontent-length: {size}\r\n\r\n");
@@ -41,17 +42,16 @@
 
     /// Sends a segment at the rate that the links allow; false where session or connection is over.
     fn send_segment(&self, fleet: &Fleet, socket: &Socket, name: &str, size: usize) -> bool {
-        let count = (fleet.segment * PIECES_PER_SECOND / SECOND).max(1) as usize;
+        let segment = nanoseconds(fleet.segment);
+        let count = (segment * PIECES_PER_SECOND / NANOSECONDS_PER_SECOND).max(1) as usize;
         let piece = vec![MEDIA_BYTE; size.div_ceil(count)];
         let mut left = size;
         let mut due = self.segment_start(name);
         while left > 0 {
             // The segment takes longer by as much as the share is short.
             let share = lock(&fleet.model).share(self.id as usize);
-            due += (fleet.segment as f64 / count as f64 / share) as u64;
-            sleep(Duration::from_nanos(
-                due.saturating_sub(clock::now().as_nanos()),
-            ));
+            due += Duration::from_nanos((segment as f64 / count as f64 / share) as u64);
+            sleep(due.duration_since(clock::now()));
             let length = piece.len().min(left);
             let silent = self.mode().vanished || self.mode().hangs;
             if !self.count_sent(name, if silent { 0 } else { length as u64 }) {
@@ -69,10 +69,12 @@
     }
 
     /// When the pieces of the next segment are counted from.
-    fn segment_start(&self, name: &str) -> u64 {
-        let previous_due = lock(&self.sessions).get(name).map_or(0, |s| s.media_due);
-        let now = clock::now().as_nanos();
-        if now.saturating_sub(previous_due) < SCHEDULE_GAP {
+    fn segment_start(&self, name: &str) -> Time {
+        let previous_due = lock(&self.sessions)
+            .get(name)
+            .map_or(Time::ZERO, |s| s.media_due);
+        let now = clock::now();
+        if now.duration_since(previous_due) < SCHEDULE_GAP {
             previous_due
         } else {
             now
@@ -99,7 +101,7 @@
             .iter()
             .filter(|(_, session)| session.front == front && session.plays)
             .map(|(name, _)| name.clone());
-        let age_ms = self.age() / MILLISECOND;
+        let age_ms = self.age().as_millis() as u64;
         let hello = StreamStart {
             boot: self.incarnation.load(Ordering::Acquire).to_string(),
             sessions: active.collect(),
--- a/crates/testbed/src/server_reports.rs
+++ b/crates/testbed/src/server_reports.rs
@@ -9,21 +9,21 @@
 use crankpaddle_server_protocol::event_stream::{
     self, CrossZoneRate, SessionUpdateMessage, TrafficCounts,
 };
+use crankpaddle_time::{nanoseconds, Time};
 use std::collections::BTreeMap;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
-const MILLISECOND: u64 = 1_000_000;
 /// Interval at which a server checks what it has to send.
 const TICK: Duration = Duration::from_millis(250);
-/// Least time between two reports of short delivery, nanoseconds.
-const SHORT_DELIVERY_INTERVAL: u64 = 1000 * MILLISECOND;
+/// Least time between two reports of short delivery.
+const SHORT_DELIVERY_INTERVAL: Duration = Duration::from_secs(1);
 /// Delivery is short where sessions get less than this part of their rates.
 const SHORT_DELIVERY_SHARE: f64 = 0.98;
 
 struct DelayedMessage {
-    due: u64,
+    due: Time,
     front: String,
     bytes: Vec<u8>,
 }
@@ -41,14 +41,15 @@
         jitter(self.draw_count)
     }
 
-    fn send(&mut self, due: u64, fault: ResponseFault, front: &str, bytes: &[u8]) {
+    fn send(&mut self, due: Time, fault: ResponseFault, front: &str, bytes: &[u8]) {
         let copies = if self.draw() < fault.lost {
             0
         } else {
             1 + usize::from(self.draw() < fault.duplicated)
         };
         for _ in 0..copies {
-            let delay = (fault.late as f64 * (0.5 + 0.5 * self.draw())) as u64;
+            let longest = nanoseconds(fault.late) as f64;
+            let delay = Duration::from_nanos((longest * (0.5 + 0.5 * self.draw())) as u64);
             self.messages.push(DelayedMessage {
                 due: due + delay,
                 front: front.to_owned(),
@@ -58,7 +59,7 @@
     }
 
     /// Takes out what is due, in the order of its times.
-    fn take_due(&mut self, now: u64) -> Vec<DelayedMessage> {
+    fn take_due(&mut self, now: Time) -> Vec<DelayedMessage> {
         self.messages.sort_by_key(|message| message.due);
         let due_count = self.messages.partition_point(|message| message.due <= now);
         self.messages.drain(..due_count).collect()
@@ -78,9 +79,9 @@
     fleet: Arc<Fleet>,
     queue: DelayQueue,
     /// When short delivery was last reported.
-    short_delivery_at: u64,
+    short_delivery_at: Time,
     /// When link load and traffic were last reported.
-    load_at: u64,
+    load_at: Time,
 }
 
 impl Server {
@@ -118,8 +119,8 @@
                 draw_count: u64::from(self.id) << 32, // Why: each server draws a sequence of its own.
                 ..DelayQueue::default()
             },
-            short_delivery_at: 0,
-            load_at: 0,
+            short_delivery_at: Time::ZERO,
+            load_at: Time::ZERO,
         };
         spawn(Stack::Usual, move || loop {
             sleep(TICK);
@@ -134,14 +135,14 @@
             self.queue.messages.clear();
             return;
         }
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         let fault = self.server.mode().response_fault;
         let settings = &self.fleet.config.settings;
-        let due = now + settings.update_delay;
+        let due = now + Duration::from_nanos(settings.update_delay);
         let load = self.link_load();
         let short_delivery_due = now >= self.short_delivery_at + SHORT_DELIVERY_INTERVAL;
         let reports_short_delivery = short_delivery_due && load.share < SHORT_DELIVERY_SHARE;
-        let reports_load = now >= self.load_at + settings.update_interval;
+        let reports_load = now >= self.load_at + Duration::from_nanos(settings.update_interval);
         for (front, session) in self.session_of_each_front() {
             if !reports_short_delivery && !reports_load {
                 continue;
@@ -200,7 +201,7 @@
 
     fn send_traffic(
         &mut self,
-        due: u64,
+        due: Time,
         fault: ResponseFault,
         streams: &[(String, Arc<WriteBuffer>)],
     ) {
@@ -215,7 +216,7 @@
         }
     }
 
-    fn deliver(&mut self, now: u64, streams: &[(String, Arc<WriteBuffer>)]) {
+    fn deliver(&mut self, now: Time, streams: &[(String, Arc<WriteBuffer>)]) {
         let due = self.queue.take_due(now);
         for (front, stream) in streams {
             stream.push(sse::HEARTBEAT);
--- a/crates/testbed/tests/breaches.rs
+++ b/crates/testbed/tests/breaches.rs
@@ -1,9 +1,10 @@
 //! The judge is judged: for each rule a recorded breach that it must find, and beside it the like that is none.
 use crankpaddle_testbed::invariant_checker::{judge, ClassRule, RetryBudget, Rules, Verdict};
 use crankpaddle_testbed::record::{PlayerReply, Record, Reply, Seen};
+use crankpaddle_time::Time;
+use std::time::Duration;
 
-const MS: u64 = 1_000_000;
-const SECOND: u64 = 1000 * MS;
+const SECOND: Duration = Duration::from_secs(1);
 
 fn rules() -> Rules {
     let class = |name: &str, paid, floor, seats| ClassRule {
@@ -24,19 +25,20 @@
             ratio: 0.0,
             window: 10 * SECOND,
         }),
-        tolerance: 50 * MS,
+        tolerance: Duration::from_millis(50),
     }
 }
 
+fn time(ms: u64) -> Time {
+    Time::ZERO + 1000 * SECOND + Duration::from_millis(ms)
+}
+
 fn at(ms: u64, seen: Seen) -> Record {
-    Record {
-        at: 1000 * SECOND + ms * MS,
-        seen,
-    }
+    Record { at: time(ms), seen }
 }
 
 fn asked(ms: u64, call: u64, bill: &str, class: u8) -> Record {
-    let gives_up = 1000 * SECOND + (ms + 4000) * MS;
+    let gives_up = time(ms + 4000);
     at(
         ms,
         Seen::OpenSent {
