--- a/crates/benchmark/src/bench/mod.rs
+++ b/crates/benchmark/src/bench/mod.rs
@@ -1,9 +1,9 @@
-//! The measurement: front and relay in turns, against the same stand-in servers, which answer at once.
+//! The comparison: front and relay in alternating rounds, against the same stand-in servers, which answer at once.
 mod load;
 mod report;
 mod target;
 
-use crankpaddle_testbed::list_service::{entry, EndpointState, ListService};
+use crankpaddle_testbed::list_service::ListService;
 use crankpaddle_testbed::record::Recorder;
 use crankpaddle_testbed::script::{fleet_config, front_block, FLEET};
 use crankpaddle_testbed::server::{Fleet, Layout};
@@ -20,17 +20,17 @@
 const SEGMENT: Duration = Duration::from_secs(1);
 /// Delay of changes of the endpoint list.
 const LIST_DELAY: Duration = Duration::from_millis(100);
-/// The list has reached a started front after this time.
-const LIST_SETTLED: Duration = Duration::from_secs(1);
+/// Time in which a started front has received the endpoint list.
+const LIST_RECEIVED_WITHIN: Duration = Duration::from_secs(1);
 
 /// How much is measured.
 #[derive(Clone, Debug)]
 pub struct Plan {
     /// The program: `EXE front -c FILE`, `EXE lab relay ADDRESS...`.
     pub exe: PathBuf,
-    /// Folder for the configuration.
+    /// Directory for the configuration.
     pub dir: PathBuf,
-    /// Rounds of each, in turns.
+    /// Rounds of each side, alternating.
     pub rounds: usize,
     /// Seconds of a round.
     pub seconds: u64,
@@ -42,30 +42,29 @@
     pub log: String,
 }
 
-/// What was measured.
+/// The result of a comparison.
 #[derive(Clone, Debug)]
 pub struct Measured {
-    /// The page's table and what failed.
+    /// The table, and the failures of both sides.
     pub text: String,
-    /// The larger share of failed set-ups of the two sides.
+    /// The larger ratio of failed set-ups of the two sides.
     pub failed: f64,
 }
 
-/// The stand-in servers, their list and the front's configuration.
-struct Setting {
+/// The stand-in servers, their list service, and the front's configuration.
+struct Environment {
     exe: PathBuf,
     fleet: Arc<Fleet>,
     _list: Arc<ListService>,
     configuration: PathBuf,
 }
 
-impl Setting {
-    fn start(plan: &Plan) -> io::Result<Setting> {
+impl Environment {
+    fn start(plan: &Plan) -> io::Result<Environment> {
         std::fs::create_dir_all(&plan.dir)?;
         let text = fleet_text(&plan.log);
         let config = fleet_config(&text).map_err(|p| io::Error::other(format!("{p:?}")))?;
         let config = Arc::new(config);
-        let recorder = Recorder::default();
         let layout = Layout {
             count: 12,
             cores: 64,
@@ -74,18 +73,13 @@
             segment: SEGMENT,
             seed: 1,
         };
-        let fleet = Fleet::start(config.clone(), &layout, recorder.clone())?;
-        let entries = fleet
-            .servers
-            .iter()
-            .map(|server| entry(&config, server.id, server.address, EndpointState::Ready, 0))
-            .collect();
-        let list = ListService::start(entries, LIST_DELAY, recorder)?;
+        let fleet = Fleet::start(config.clone(), &layout, Recorder::default())?;
+        let list = ListService::start_for(&fleet, LIST_DELAY)?;
         let block = front_block(0, 1, &config.zones[0], &list.address.to_string(), "");
         let block = block.replacen("front {", "front {\n  workers: 1", 1);
         let configuration = plan.dir.join("measured.textproto");
         std::fs::write(&configuration, format!("{block}{text}"))?;
-        Ok(Setting {
+        Ok(Environment {
             exe: plan.exe.clone(),
             fleet,
             _list: list,
@@ -107,8 +101,9 @@
     }
 }
 
-/// The fleet with capacity for all that is asked of it: the front is measured, not the model. Not more than large
-/// machines have: sizing regions costs the module time in proportion to their slots (47 ms for 100,000).
+/// The fleet's configuration, with enough capacity that no set-up is rejected: the front is measured, not the model.
+///
+/// Why not more than large machines have: the time to size regions grows with their slots (47 ms for 100,000).
 fn fleet_text(log_level: &str) -> String {
     FLEET
         .replace("places: 26", "places: 400")
@@ -119,17 +114,18 @@
         .replace("level: \"info\"", &format!("level: {log_level:?}"))
 }
 
-/// Measures and gives the page's table.
+/// Measures both sides; returns the table.
 ///
 /// # Errors
-/// Something did not start.
+/// A process or a stand-in could not be started, or a process's figures can't be read.
 pub fn run(plan: &Plan) -> io::Result<Measured> {
-    let setting = Setting::start(plan)?;
+    let environment = Environment::start(plan)?;
     let clients = Clients::new();
     let (mut front, mut relay) = (Side::default(), Side::default());
-    let latency_rate = measure_time(plan, &setting, &clients, &mut front, &mut relay)?;
-    let (front_target, relay_target) = (setting.start_front()?, setting.start_relay()?);
-    std::thread::sleep(LIST_SETTLED);
+    let latency_rate =
+        measure_throughput_and_latency(plan, &environment, &clients, &mut front, &mut relay)?;
+    let (front_target, relay_target) = (environment.start_front()?, environment.start_relay()?);
+    std::thread::sleep(LIST_RECEIVED_WITHIN);
     let front_memory = clients.memory(&front_target, plan.idle, plan.sessions)?;
     let relay_memory = clients.memory(&relay_target, plan.idle, plan.sessions)?;
     let failed = front.failures.ratio().max(relay.failures.ratio());
@@ -146,16 +142,16 @@
     })
 }
 
-/// Throughput of both sides, then latencies at half the front's rate, which is given.
-fn measure_time(
+/// Measures the throughput of both sides, then their latencies at half the front's throughput; returns that rate.
+fn measure_throughput_and_latency(
     plan: &Plan,
-    setting: &Setting,
+    environment: &Environment,
     clients: &Clients,
     front: &mut Side,
     relay: &mut Side,
 ) -> io::Result<f64> {
-    let (front_target, relay_target) = (setting.start_front()?, setting.start_relay()?);
-    std::thread::sleep(LIST_SETTLED);
+    let (front_target, relay_target) = (environment.start_front()?, environment.start_relay()?);
+    std::thread::sleep(LIST_RECEIVED_WITHIN);
     for _ in 0..plan.rounds {
         for (side, target) in [(&mut *front, &front_target), (&mut *relay, &relay_target)] {
             let throughput = clients.throughput(target, plan.seconds, &mut side.failures)?;
--- a/crates/cli/src/testbed/servers.rs
+++ b/crates/cli/src/testbed/servers.rs
@@ -1,7 +1,7 @@
 //! `crankpaddle lab servers`: the simulated servers and the list service of a scenario, without faults.
 use super::files::{fleet_config, read_scenario};
 use crate::failure::CommandFailure;
-use crankpaddle_testbed::list_service::{entry, EndpointState, ListService};
+use crankpaddle_testbed::list_service::ListService;
 use crankpaddle_testbed::record::Recorder;
 use crankpaddle_testbed::scenario_runner;
 use crankpaddle_testbed::script;
@@ -22,15 +22,9 @@
     let day = read_scenario(scenario)?;
     crankpaddle_net::start(None);
     let config = Arc::new(fleet_config(&day)?);
-    let recorder = Recorder::default();
     let layout = scenario_runner::layout(&day, SEED);
-    let fleet = Fleet::start(config.clone(), &layout, recorder.clone())?;
-    let entries = fleet
-        .servers
-        .iter()
-        .map(|server| entry(&config, server.id, server.address, EndpointState::Ready, 0))
-        .collect();
-    let list = ListService::start(entries, day.list_delay, recorder)?;
+    let fleet = Fleet::start(config.clone(), &layout, Recorder::default())?;
+    let list = ListService::start_for(&fleet, day.list_delay)?;
     let front = script::front_block(0, 1, &config.zones[0], &list.address.to_string(), "");
     println!(
         "# {} servers; the list service is at {}. A front for them:",
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -13,21 +13,17 @@
 use crate::host_faults::Hosts;
 pub use crate::host_faults::Memory;
 use crate::invariant_checker::{judge, Rules, Verdict};
-use crate::list_service::ListService;
 use crate::membership_poll::Views;
 use crate::player::{Finder, Habits, PlayerPool};
 use crate::process::Process;
 use crate::record::{Record, Recorder, Seen};
-use crate::scenario_runner::{
-    config_of, habits, layout, start_list, DRAIN_GRACE, TIMING_TOLERANCE,
-};
+use crate::scenario_runner::{habits, DRAIN_GRACE, TIMING_TOLERANCE};
 use crate::script::Day;
-use crate::server::Fleet;
+use crate::stage::Stage;
 use crate::udp_proxy::{write_key, Mesh};
 use crate::wind_down::{wait_for_players, wait_for_streams};
 use arrivals::Arrivals;
 pub use cost::Cost;
-use crankpaddle_config::Config;
 use crankpaddle_fault_simulation::{
     play, Act, ActionError, Case, CaseResult, Cluster, DelayRange, Entry, Fronts, MemberTransition,
     Rate, RecoveryProgress,
@@ -91,32 +87,6 @@
     }
 }
 
-/// The stand-ins of a case.
-struct Stage {
-    config: Arc<Config>,
-    fleet: Arc<Fleet>,
-    list: Arc<ListService>,
-    recorder: Recorder,
-    /// Text of the fronts' configuration, without the blocks of each front.
-    text: String,
-}
-
-impl Stage {
-    fn start(day: &Day, seed: u64) -> io::Result<Stage> {
-        let config = config_of(day)?;
-        let recorder = Recorder::default();
-        let fleet = Fleet::start(config.clone(), &layout(day, seed), recorder.clone())?;
-        let list = start_list(&fleet, day.list_delay)?;
-        Ok(Stage {
-            config,
-            fleet,
-            list,
-            recorder,
-            text: day.fleet.clone(),
-        })
-    }
-}
-
 /// The fleet of processes. Fronts are numbered from 0.
 struct Harness<'a> {
     plan: &'a Plan,
--- a/crates/testbed/src/fleet/processes.rs
+++ b/crates/testbed/src/fleet/processes.rs
@@ -36,7 +36,7 @@
         with_workers(&block, self.plan.workers)
             + &peers.unwrap_or_default()
             + &store.unwrap_or_default()
-            + &self.stage.text
+            + &self.stage.config_text
     }
 
     /// File of the cached endpoint list.
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -35,5 +35,6 @@
 pub mod server;
 mod server_reports;
 mod setup_log;
+mod stage;
 pub mod udp_proxy;
 mod wind_down;
--- a/crates/testbed/src/list_service.rs
+++ b/crates/testbed/src/list_service.rs
@@ -1,5 +1,6 @@
 //! Stand-in list service: it has the list of the servers that run, and sends changes to every front with a delay.
 use crate::record::{Recorder, Seen};
+use crate::server::Fleet;
 use crankpaddle_config::Config;
 use crankpaddle_front::EndpointListKind;
 use crankpaddle_http::sse;
@@ -85,6 +86,26 @@
 }
 
 impl ListService {
+    /// Starts with all servers of a fleet as ready; changes are sent with this delay.
+    ///
+    /// # Errors
+    /// No port can be listened on.
+    pub fn start_for(fleet: &Fleet, delay: Duration) -> io::Result<Arc<ListService>> {
+        let servers = fleet.servers.iter();
+        let entries = servers
+            .map(|server| {
+                entry(
+                    &fleet.config,
+                    server.id,
+                    server.address,
+                    EndpointState::Ready,
+                    0,
+                )
+            })
+            .collect();
+        ListService::start(entries, delay, fleet.recorder.clone())
+    }
+
     /// Starts with a list that every front receives at once; changes are sent with this delay.
     ///
     /// # Errors
--- a/crates/testbed/src/scenario_runner/stage.rs
+++ b/crates/testbed/src/scenario_runner/faults.rs
@@ -1,63 +1,17 @@
-//! The fronts and stand-ins of a day, and how its faults begin and end at them.
-use super::Play;
+//! How the faults of a day begin and end at its fronts and stand-ins.
+use super::front::Front;
 use crate::fault_mode::ResponseFault;
-use crate::list_service::{entry, ListService};
-use crate::process::{with_workers, Process};
-use crate::record::{Recorder, Seen};
-use crate::script::{front_block, Day, Fault, Kind};
-use crate::server::Fleet;
-use crankpaddle_config::Config;
+use crate::list_service::entry;
+use crate::record::Seen;
+use crate::script::{Fault, Kind};
+use crate::stage::Stage;
 use crankpaddle_net::clock;
 use crankpaddle_server_protocol::list::EndpointState;
 use rustix::process::Signal;
 use std::io;
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
 
 const NANOSECONDS_PER_MILLISECOND: u64 = 1_000_000;
 
-/// A front's process.
-pub(super) struct Front {
-    pub(super) process: Process,
-    /// Its zone by number.
-    pub(super) zone: usize,
-}
-
-impl Front {
-    pub(super) fn start(
-        play: &Play,
-        index: u32,
-        day: &Day,
-        config: &Config,
-        list: &SocketAddr,
-        peers: &str,
-    ) -> io::Result<Front> {
-        let zone = index as usize % config.zones.len();
-        let cache = play.dir.join(format!("front-{index}.list"));
-        let block = front_block(
-            index,
-            day.fronts,
-            &config.zones[zone],
-            &list.to_string(),
-            &cache.to_string_lossy(),
-        );
-        let text = with_workers(&block, play.workers) + peers + &day.fleet;
-        let process = Process::start(&play.exe, &play.dir, &format!("front-{index}"), &text)?;
-        Ok(Front { process, zone })
-    }
-}
-
-/// The stand-ins of a day.
-pub(super) struct Stage {
-    pub(super) config: Arc<Config>,
-    pub(super) fleet: Arc<Fleet>,
-    pub(super) list: Arc<ListService>,
-    pub(super) recorder: Recorder,
-    /// Delay of the list service without faults.
-    pub(super) list_delay: Duration,
-}
-
 impl Stage {
     fn change_listing(&self, server: u32, state: EndpointState) {
         let address = self.fleet.servers[server as usize].address;
--- a/crates/testbed/src/scenario_runner/mod.rs
+++ b/crates/testbed/src/scenario_runner/mod.rs
@@ -1,38 +1,37 @@
 //! Plays a scripted day: fronts as processes of their own, everything else as stand-ins in this process.
 //!
-//! - `stage`: the fronts and stand-ins, and the faults at them;
+//! - `front`: the fronts' processes;
+//! - `faults`: how the day's faults begin and end at fronts and stand-ins;
 //! - `arrivals`: the players that come;
 //! - `timeline`: the run itself;
 //! - `recording`: records on disk.
 mod arrivals;
+mod faults;
+mod front;
 mod recording;
-mod stage;
 mod timeline;
 
 use crate::crossing::{crossed, Crossed, FlowKey};
 use crate::invariant_checker::{judge, Rules, Verdict};
-use crate::list_service::{entry, ListService};
 use crate::membership_poll::Views;
 use crate::player::Habits;
 use crate::process::end_all;
-use crate::record::{Record, Recorder, Seen};
-use crate::script::{fleet_config, Day};
-use crate::server::{Fleet, Layout};
+use crate::record::{Record, Seen};
+use crate::script::Day;
+use crate::server::Layout;
+use crate::stage::Stage;
 use crate::udp_proxy::{write_key, Mesh};
 pub use arrivals::{arrivals, Arrival};
-use crankpaddle_config::Config;
 use crankpaddle_cross_zone_traffic::report::{merge, TrafficReport};
 use crankpaddle_net::clock;
-use crankpaddle_server_protocol::list::EndpointState;
 use crankpaddle_time::{nanoseconds, Time};
 use crankpaddle_traffic_report::fetch;
+use front::Front;
 pub use recording::{read_records, write_records};
-use stage::{Front, Stage};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::Arc;
 use std::time::Duration;
 
 /// Tolerance of the rules for scheduling: stand-ins and players share the cores with the fronts.
@@ -141,7 +140,7 @@
 /// A front or a stand-in could not be started, or a file not be written.
 pub fn play(day: &Day, play: &Play) -> io::Result<Outcome> {
     std::fs::create_dir_all(&play.dir)?;
-    let stage = start_stage(day, play.seed)?;
+    let stage = Stage::start(day, play.seed)?;
     let config = &stage.config;
     let peering = Peering::start(day, play)?;
     let mut fronts = start_fronts(day, play, &stage, peering.as_ref())?;
@@ -173,37 +172,6 @@
     })
 }
 
-/// Checks the configuration of a day's fleet.
-pub(crate) fn config_of(day: &Day) -> io::Result<Arc<Config>> {
-    let invalid = |problems| io::Error::other(format!("fleet: {problems:?}"));
-    fleet_config(&day.fleet).map(Arc::new).map_err(invalid)
-}
-
-/// Starts servers and list service.
-fn start_stage(day: &Day, seed: u64) -> io::Result<Stage> {
-    let config = config_of(day)?;
-    let recorder = Recorder::default();
-    let fleet = Fleet::start(config.clone(), &layout(day, seed), recorder.clone())?;
-    let list = start_list(&fleet, day.list_delay)?;
-    Ok(Stage {
-        config,
-        fleet,
-        list,
-        recorder,
-        list_delay: day.list_delay,
-    })
-}
-
-/// Starts a list service that has all servers of a fleet as ready.
-pub(crate) fn start_list(fleet: &Fleet, delay: Duration) -> io::Result<Arc<ListService>> {
-    let listing = |server: &Arc<crate::server::Server>| {
-        let (id, address) = (server.id, server.address);
-        entry(&fleet.config, id, address, EndpointState::Ready, 0)
-    };
-    let entries = fleet.servers.iter().map(listing).collect();
-    ListService::start(entries, delay, fleet.recorder.clone())
-}
-
 /// The network between fronts that know each other.
 struct Peering {
     mesh: Mesh,
@@ -240,8 +208,7 @@
     for index in 0..day.fronts {
         let number = index as usize;
         let peers = peering.map(|p| p.block(number)).unwrap_or_default();
-        let list = &stage.list.address;
-        let front = Front::start(play, index, day, &stage.config, list, &peers)?;
+        let front = Front::start(play, index, day, stage, &peers)?;
         if let Some(peering) = peering {
             peering.views.runs(number, Some(front.process.address));
         }
--- a/crates/testbed/src/scenario_runner/timeline.rs
+++ b/crates/testbed/src/scenario_runner/timeline.rs
@@ -1,8 +1,9 @@
 //! The run of a day: its faults and arrivals in the order of their times, then the wait for its end.
-use super::stage::{Front, Stage};
+use super::front::Front;
 use super::{arrivals, habits, Arrival, Play};
 use crate::player::PlayerPool;
 use crate::script::{Day, Fault};
+use crate::stage::Stage;
 use crate::wind_down::{wait_for_players, wait_for_streams};
 use crankpaddle_net::{clock, spawn, Stack};
 use crankpaddle_time::Time;
