Benchmark: comments and names in the terms of the field; a relayed session is a struct

The comments had not been gone through. Metaphors and riddles are replaced by plain sentences, numbers in code by named constants, and the pair of a relayed session by a struct. The printed tables are the same. The benchmark itself was not run.

--- a/crates/benchmark/src/account.rs
+++ b/crates/benchmark/src/account.rs
@@ -1,4 +1,5 @@
-//! What the account of traffic costs: sessions that play on a given clock, with and without it, in one process in turns.
+//! The cost of the accounting of traffic: sessions that play on a simulated clock in one process, in alternating rounds with
+//! the accounting and without it.
 use crate::process::{cpu_seconds, resident};
 use crankpaddle_cross_zone_traffic::budget::{FrontPosition, SharedBudget};
 use crankpaddle_cross_zone_traffic::cross_zone_admission::CrossZoneLimit;
@@ -13,21 +14,21 @@
 const SECOND: u64 = 1_000_000_000;
 const START: u64 = 1_000_000 * SECOND;
 const SERVERS: u32 = 100;
-/// Sessions settled in a step, as the front does.
+/// Sessions settled in one step: as many as a front settles.
 const STEP: usize = 512;
-/// Bytes that a session gets in a second.
-const BYTES_A_SECOND: u64 = 200_000;
-/// Mean length of a session, seconds; so part of them ends and as many begin in each.
-const LENGTH: u64 = 60;
+/// Bytes sent to a session in a second.
+const BYTES_PER_SECOND: u64 = 200_000;
+/// Mean length of a session, seconds: in each second one in so many ends, and as many begin.
+const MEAN_SESSION_SECONDS: u64 = 60;
 
 /// How much is measured.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
-    /// Sessions that play.
+    /// Number of active sessions.
     pub sessions: u64,
-    /// Seconds of the given clock, each round.
+    /// Seconds of the simulated clock in each round.
     pub seconds: u64,
-    /// Rounds with and without, in turns.
+    /// Rounds with the accounting, and as many without it, alternating.
     pub rounds: usize,
 }
 
@@ -81,19 +82,23 @@
     }
 }
 
-/// What a round showed.
+/// The result of a round, in seconds.
 #[derive(Clone, Copy, Debug, Default)]
 struct Round {
+    /// Processor time.
     cpu: f64,
-    longest_step: f64, // Of settling, seconds.
+    /// Longest step of settling.
+    longest_step: f64,
+    /// Longest update of the budgets.
     longest_tick: f64,
 }
 
-/// A load of sessions on a given clock, with the account or without it.
+/// Sessions on a simulated clock, with the accounting or without it.
 struct Load<'a> {
     plan: &'a Plan,
     controller: Option<&'a mut TrafficController>,
-    sent: BTreeMap<u64, u64>, // Bytes by attempt.
+    /// Bytes sent, by attempt.
+    sent: BTreeMap<u64, u64>,
     round: Round,
 }
 
@@ -113,7 +118,7 @@
         }
     }
 
-    /// Plays the plan's seconds.
+    /// Runs for the plan's seconds.
     fn play(mut self) -> io::Result<Round> {
         let pid = std::process::id();
         let before = cpu_seconds(pid)?;
@@ -128,19 +133,19 @@
         Ok(self.round)
     }
 
-    /// Each session's server counts the bytes of a second.
+    /// Adds the bytes of a second to each session.
     fn send(&mut self, now: u64) {
         for (id, bytes) in &mut self.sent {
-            *bytes += BYTES_A_SECOND;
+            *bytes += BYTES_PER_SECOND;
             if let Some(controller) = self.controller.as_deref_mut() {
                 controller.bytes_counted(*id, *bytes, now);
             }
         }
     }
 
-    /// The oldest sessions end and as many begin.
+    /// Ends the oldest sessions and begins as many.
     fn replace_oldest(&mut self, now: u64) {
-        let count = (self.plan.sessions / LENGTH) as usize;
+        let count = (self.plan.sessions / MEAN_SESSION_SECONDS) as usize;
         let oldest: Vec<u64> = self.sent.keys().take(count).copied().collect();
         for id in oldest {
             let bytes = self.sent.remove(&id).unwrap_or(0);
@@ -160,20 +165,20 @@
         let Some(controller) = self.controller.as_deref_mut() else {
             return;
         };
-        let begun = Instant::now();
+        let started = Instant::now();
         black_box(controller.tick(now));
         let round = &mut self.round;
-        round.longest_tick = round.longest_tick.max(begun.elapsed().as_secs_f64());
+        round.longest_tick = round.longest_tick.max(started.elapsed().as_secs_f64());
         let mut is_complete = false;
         while !is_complete {
-            let begun = Instant::now();
+            let started = Instant::now();
             is_complete = controller.settle_usage(now, STEP);
-            round.longest_step = round.longest_step.max(begun.elapsed().as_secs_f64());
+            round.longest_step = round.longest_step.max(started.elapsed().as_secs_f64());
         }
     }
 }
 
-/// What a pair of rounds showed.
+/// The results of two rounds, without the accounting and with it.
 struct Pair {
     cpu_without: f64,
     with: Round,
@@ -200,10 +205,10 @@
     }
 }
 
-/// Measures and gives the page's text.
+/// Measures; returns the table and its heading as text.
 ///
 /// # Errors
-/// The kernel does not show this process.
+/// The figures of this process can't be read.
 ///
 /// # Panics
 /// The plan has no rounds.
@@ -217,7 +222,7 @@
         let mut controller = controller();
         let with = Load::new(plan, Some(&mut controller)).play()?;
         if number == 0 {
-            // The first time, before the allocator has pages of an earlier round to hand.
+            // Why the first round: later ones reuse pages that the allocator kept.
             let added = resident(pid)?.saturating_sub(resident_before);
             memory = added as f64 / plan.sessions as f64;
         }
--- a/crates/benchmark/src/bench/load.rs
+++ b/crates/benchmark/src/bench/load.rs
@@ -1,4 +1,4 @@
-//! The load that a target is measured under, by clients on coroutines of this process.
+//! The load on a target, from clients on coroutines of this process.
 use super::target::Target;
 use crate::failures::{Failures, SetUpFailure};
 use crate::process::{cpu_seconds, resident};
@@ -17,19 +17,19 @@
 const NANOSECONDS_PER_SECOND: f64 = 1e9;
 /// Connections that open sessions without pause.
 const CLOSED_LOOP_CLIENTS: usize = 32;
-/// Pause of a client whose set-up failed: what fails at once must not be tried again at once.
-const AFTER_FAILURE: Duration = Duration::from_millis(10);
-/// Connections and pools are warm after this time.
+/// Pause of a client whose set-up failed. Why: a set-up that fails at once must not be retried at once.
+const FAILURE_PAUSE: Duration = Duration::from_millis(10);
+/// Time in which connections are made and pools filled.
 const WARM_UP: Duration = Duration::from_millis(500);
 /// Time for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time from the start of a run at a steady rate to its first set-up.
 const START_DELAY: Duration = Duration::from_millis(100);
-/// Latencies up to a minute, microseconds.
-const LONGEST_LATENCY_US: u64 = 60_000_000;
-/// Connections are opened in groups of so many.
+/// Longest latency that is told apart, microseconds: a minute.
+const MAX_LATENCY_US: u64 = 60_000_000;
+/// Number of connections that are opened at once.
 const CONNECT_BATCH: usize = 100;
-/// Titles of the configuration.
+/// Number of titles in the configuration.
 const TITLES: u64 = 24;
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -49,24 +49,24 @@
         self.0.fetch_sub(1, Ordering::AcqRel);
     }
 
-    /// Blocks this thread until all have ended, looking every `interval`.
+    /// Blocks this thread until all have ended; checks every `interval`.
     fn wait(&self, interval: Duration) {
-        // Acquire: what the coroutines wrote before they ended is seen after this.
+        // Acquire: after this, the writes of the coroutines before their ends are visible.
         while self.0.load(Ordering::Acquire) > 0 {
             std::thread::sleep(interval);
         }
     }
 }
 
-/// What a throughput run showed.
+/// The result of a throughput run.
 pub(super) struct Throughput {
     /// Set-ups a second.
     pub(super) rate: f64,
-    /// CPU of the target for each set-up, microseconds.
+    /// Processor time of the target for each set-up, microseconds.
     pub(super) cpu_us: f64,
 }
 
-/// What a memory run showed.
+/// The result of a memory run.
 #[derive(Clone, Copy)]
 pub(super) struct Memory {
     /// Bytes for each idle connection.
@@ -75,7 +75,7 @@
     pub(super) session: f64,
 }
 
-/// Clients that share a sweeper and count their calls together.
+/// Clients that share a sweeper and the numbers of their calls.
 #[derive(Clone)]
 pub(super) struct Clients {
     sweeper: Arc<IdleSweeper>,
@@ -90,7 +90,7 @@
         }
     }
 
-    /// As many set-ups as go in a time.
+    /// Sets sessions up from all clients without pause, for so many seconds.
     pub(super) fn throughput(
         &self,
         target: &Target,
@@ -127,7 +127,7 @@
         })
     }
 
-    /// One client that opens and closes sessions until it is stopped.
+    /// Runs one client, which opens and closes sessions until it is stopped.
     fn run_closed_loop(
         &self,
         address: &SocketAddr,
@@ -143,12 +143,13 @@
                 Ok(_) => {
                     done.fetch_add(1, Ordering::Relaxed);
                 }
-                Err(_) => sleep(AFTER_FAILURE),
+                Err(_) => sleep(FAILURE_PAUSE),
             }
         }
     }
 
-    /// Set-ups at a steady rate whatever comes back; latencies in microseconds from when each was meant to begin.
+    /// Sets sessions up at a steady rate that does not depend on the answers; returns the latencies in microseconds, each
+    /// from the scheduled time of its set-up.
     pub(super) fn latencies(
         &self,
         target: &Target,
@@ -156,8 +157,8 @@
         seconds: u64,
         failures: &mut Failures,
     ) -> io::Result<Histogram<u64>> {
-        let latencies = Histogram::<u64>::new_with_bounds(1, LONGEST_LATENCY_US, 3)
-            .map_err(io::Error::other)?;
+        let latencies =
+            Histogram::<u64>::new_with_bounds(1, MAX_LATENCY_US, 3).map_err(io::Error::other)?;
         let run = Arc::new(OpenLoop {
             clients: self.clone(),
             address: target.address,
@@ -185,7 +186,7 @@
         Ok(all)
     }
 
-    /// Bytes for each of `connections` idle ones, and on top for each of `sessions` that are established.
+    /// Opens so many idle connections, then so many sessions; returns the memory of the target for each.
     pub(super) fn memory(
         &self,
         target: &Target,
@@ -213,8 +214,8 @@
         })
     }
 
-    /// A set-up on a reused connection or a new one; gives when it was answered. Where it fails the connection is
-    /// closed, for late answers may lie in it.
+    /// Sets a session up on the reused connection or a new one, and closes it; returns when the set-up was answered. A
+    /// connection whose set-up failed is not reused: it may still receive a late answer.
     fn set_up(
         &self,
         reused: &mut Option<Client>,
@@ -230,7 +231,7 @@
         Ok(answered_at)
     }
 
-    /// Opens and closes a session; gives when the open was answered.
+    /// Opens and closes a session; returns when the open was answered.
     fn open_and_close(&self, client: &mut Client) -> Result<Time, SetUpFailure> {
         let id = self.calls.fetch_add(2, Ordering::Relaxed);
         let open = open_params("measured", id);
@@ -257,7 +258,7 @@
     }
 }
 
-/// Sends a call and waits for its answer; changes of rung that come meanwhile are passed over.
+/// Sends a call and waits for its answer; changes of rung are ignored.
 fn request(
     client: &mut Client,
     call: String,
@@ -312,7 +313,7 @@
 }
 
 impl OpenConnections {
-    /// Opens a connection, and a session on it where `with_session` says so, and keeps both until the run stops.
+    /// Opens a connection, with a session on it if `with_session`, and keeps both until the run stops.
     fn run(&self, with_session: bool, pending: &Pending) {
         let reused = lock(&self.idle).pop().filter(|_| with_session);
         let connect = || Client::connect(&self.address, &self.clients.sweeper).ok();
@@ -323,7 +324,7 @@
         if with_session {
             let id = self.clients.calls.fetch_add(2, Ordering::Relaxed);
             let open = open_params("held", id);
-            let _ = client.send(client::open(id, &open)); // Counted by the memory that it takes.
+            let _ = client.send(client::open(id, &open)); // Why ignored: only the memory that it takes is measured.
             let _ = client.next(clock::now() + ANSWER_TIMEOUT);
         }
         pending.end();
--- a/crates/benchmark/src/bench/report.rs
+++ b/crates/benchmark/src/bench/report.rs
@@ -1,16 +1,16 @@
-//! The table of a measurement.
+//! The table of a comparison.
 use super::load::Memory;
 use super::Plan;
 use crate::failures::Failures;
 use hdrhistogram::Histogram;
 use std::fmt::Write as _;
 
-/// Figures of one side, one entry a round.
+/// Figures of one side, one entry for each round.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Side {
     /// Set-ups a second.
     pub(super) rates: Vec<f64>,
-    /// CPU a set-up, microseconds.
+    /// Processor time of a set-up, microseconds.
     pub(super) cpu_us: Vec<f64>,
     /// Latencies, microseconds.
     pub(super) latencies: Vec<Histogram<u64>>,
@@ -23,16 +23,16 @@
     fn quantile_ms(&self, quantile: f64) -> Vec<f64> {
         self.latencies
             .iter()
-            .map(|rounds| rounds.value_at_quantile(quantile) as f64 / 1000.0)
+            .map(|round| round.value_at_quantile(quantile) as f64 / 1000.0)
             .collect()
     }
 }
 
-/// What the front and the relay showed.
+/// The results of the front and of the relay.
 pub(super) struct Sides {
     pub(super) front: Side,
     pub(super) relay: Side,
-    /// Set-ups a second at which latencies were taken.
+    /// Set-ups a second at which latencies were measured.
     pub(super) latency_rate: f64,
     pub(super) front_memory: Memory,
     pub(super) relay_memory: Memory,
@@ -56,7 +56,7 @@
     let _ = writeln!(out, "| {name} | {front:.1} | {relay:.1} | {comparison} |");
 }
 
-/// The page's table and what failed.
+/// The table, and the failures of both sides.
 pub(super) fn text(plan: &Plan, sides: &Sides) -> String {
     let mut out = format!(
         "{} rounds of {} s in turns, front log level {}\n",
--- a/crates/benchmark/src/bench/target.rs
+++ b/crates/benchmark/src/bench/target.rs
@@ -1,4 +1,4 @@
-//! The process that is measured: the front or the relay.
+//! The measured process: the front or the relay.
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
@@ -40,7 +40,7 @@
 
 impl Drop for Target {
     fn drop(&mut self) {
-        let _ = self.child.kill(); // Ended is as good.
+        let _ = self.child.kill(); // It may have ended.
         let _ = self.child.wait();
     }
 }
--- a/crates/benchmark/src/failures.rs
+++ b/crates/benchmark/src/failures.rs
@@ -1,5 +1,4 @@
-//! Set-ups of a measurement that failed, counted by cause, so that one of them does not throw a run away and many
-//! can't hide in its figures.
+//! Failed set-ups of a measurement, counted by cause: a few don't end the run, and many show in its result.
 use crankpaddle_session_api::client::ClientEvent;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -12,7 +11,7 @@
     /// The connection could not be made, written or read.
     #[error("{action}: {kind}")]
     Connection {
-        /// What was being done: connect, write or read.
+        /// The failed operation: connect, write or read.
         action: &'static str,
         /// The kind of the I/O error.
         kind: io::ErrorKind,
@@ -41,16 +40,16 @@
         /// The reason that the notification states.
         reason: String,
     },
-    /// Something else came than the wanted answer.
+    /// An event was received that is no answer to the call.
     #[error("unexpected {event}")]
     Unexpected {
-        /// The name of the event that came.
+        /// The name of the event.
         event: String,
     },
 }
 
 impl SetUpFailure {
-    /// The failure of a connection while `action` was under way.
+    /// The failure of an operation on the connection.
     pub fn connection(action: &'static str, error: &io::Error) -> SetUpFailure {
         SetUpFailure::Connection {
             action,
@@ -58,7 +57,7 @@
         }
     }
 
-    /// The failure that an event other than the wanted answer amounts to.
+    /// The failure that an event stands for.
     pub fn from_event(event: &ClientEvent) -> SetUpFailure {
         match event {
             ClientEvent::Refused { reason, .. } => SetUpFailure::Rejected {
@@ -84,7 +83,7 @@
     text.split([' ', '{']).next().unwrap_or("answer").to_owned()
 }
 
-/// Counts by cause, and all set-ups tried. Causes are listed by their text.
+/// Number of set-ups, and of the failed ones by the text of their cause.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Failures {
     attempted: u64,
@@ -100,7 +99,7 @@
         }
     }
 
-    /// Failed set-ups over all; 0 where none was tried.
+    /// Failed set-ups over all; 0 where there was none.
     pub fn ratio(&self) -> f64 {
         self.count() as f64 / self.attempted.max(1) as f64
     }
@@ -111,11 +110,11 @@
 }
 
 impl fmt::Display for Failures {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} of {} failed", self.count(), self.attempted)?;
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} of {} failed", self.count(), self.attempted)?;
         self.causes
             .iter()
-            .try_for_each(|(cause, count)| write!(f, "; {cause}: {count}"))
+            .try_for_each(|(cause, count)| write!(formatter, "; {cause}: {count}"))
     }
 }
 
--- a/crates/benchmark/src/lib.rs
+++ b/crates/benchmark/src/lib.rs
@@ -1,7 +1,12 @@
-//! What a front costs: CPU and time of a set-up, memory of a connection and of a session, each beside a floor from the
-//! same run: [`relay`], which passes the same messages over the same sockets and decides nothing.
+//! Benchmarks of a front: processor time and latency of a set-up, memory of a connection and of a session.
 //!
-//! Machines are noisy: what counts is the ratio of the two, taken in turns.
+//! Each figure is measured for the front and for a baseline in the same run: [`relay`], which forwards the same messages
+//! over the same sockets and decides nothing. Machines are noisy, so the ratio of the two counts, from alternating rounds.
+//!
+//! - [`bench`]: the comparison of front and relay;
+//! - [`account`]: the cost of the accounting of traffic;
+//! - [`failures`]: set-ups that failed, counted by cause;
+//! - [`process`]: processor time and memory of a process.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 pub mod account;
--- a/crates/benchmark/src/relay.rs
+++ b/crates/benchmark/src/relay.rs
@@ -1,4 +1,4 @@
-//! The floor: takes the same calls over WebSocket, passes each to the next server, and decides nothing.
+//! The baseline: receives the same calls over WebSocket as a front and forwards each to the next server, without decisions.
 use crankpaddle_http::head;
 use crankpaddle_net::exchange::{ExchangeError, HttpExchange};
 use crankpaddle_net::{accept_each, listen, Socket, WriteBuffer};
@@ -16,10 +16,13 @@
 use tungstenite::protocol::{Role, WebSocketConfig, WebSocketContext};
 use tungstenite::Message;
 
-const CONNECT: Duration = Duration::from_secs(2);
-/// As the front's.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Bytes of a connection's read buffer, as in the front.
 const READ_BUFFER: usize = 1024;
-const UNREAD: usize = 64 * 1024;
+/// Bytes that a connection may have unsent.
+const SEND_BUFFER: usize = 64 * 1024;
+/// Longest response body of a server, bytes.
+const MAX_BODY: u64 = 64 * 1024;
 /// The status with which a server answers a set-up.
 const STATUS_CREATED: u16 = 201;
 
@@ -34,21 +37,32 @@
     Json(#[from] serde_json::Error),
 }
 
+/// Where a session is.
+struct RelayedSession {
+    server: SocketAddr,
+    /// The session's name at its server.
+    name: String,
+}
+
 struct Relay {
     servers: Vec<SocketAddr>,
+    /// Number of the next open request.
     next: AtomicUsize,
+    /// Idle connections to servers.
     idle: Mutex<HashMap<SocketAddr, Vec<Arc<Socket>>>>,
-    sessions: Mutex<HashMap<String, (SocketAddr, String)>>,
+    /// Sessions by the id that clients have.
+    sessions: Mutex<HashMap<String, RelayedSession>>,
 }
 
+/// A client's connection as the WebSocket codec reads and writes it.
 struct Stream<'a>(&'a WriteBuffer);
 
 impl Read for Stream<'_> {
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
         loop {
             self.0.flush();
-            if let Some(n) = self.0.socket().try_read(buffer)? {
-                return Ok(n);
+            if let Some(length) = self.0.socket().try_read(buffer)? {
+                return Ok(length);
             }
             self.0.socket().wait();
         }
@@ -83,15 +97,15 @@
         sessions: Mutex::default(),
     };
     accept_each(listener, Arc::default(), move |socket| {
-        let _ = relay.serve(Arc::new(socket)); // A connection that breaks is over.
+        let _ = relay.serve(Arc::new(socket)); // Why ignored: the client sees the end of its connection.
     });
     Ok(address)
 }
 
 impl Relay {
     fn serve(&self, socket: Arc<Socket>) -> Result<(), ConnectionError> {
-        let mut wire = HttpExchange::new(socket.clone());
-        let request = wire.request_head(None).map_err(ConnectionError::Http)?;
+        let mut exchange = HttpExchange::new(socket.clone());
+        let request = exchange.request_head(None).map_err(ConnectionError::Http)?;
         let accepted = derive_accept_key(
             request
                 .fields
@@ -105,13 +119,13 @@
             ("sec-websocket-accept", accepted.as_str()),
             ("sec-websocket-protocol", Version::V2.subprotocol()),
         ];
-        let outbox = WriteBuffer::new(socket, UNREAD);
+        let outbox = WriteBuffer::new(socket, SEND_BUFFER);
         outbox.push(&head::response(101, &fields, b""));
         let config = WebSocketConfig::default()
             .read_buffer_size(READ_BUFFER)
             .write_buffer_size(0);
         let mut context =
-            WebSocketContext::from_partially_read(wire.into_rest(), Role::Server, Some(config));
+            WebSocketContext::from_partially_read(exchange.into_rest(), Role::Server, Some(config));
         loop {
             let read = context.read(&mut Stream(&outbox))?;
             if let Message::Text(text) = read {
@@ -138,19 +152,19 @@
         }
     }
 
-    fn sessions(&self) -> MutexGuard<'_, HashMap<String, (SocketAddr, String)>> {
+    fn sessions(&self) -> MutexGuard<'_, HashMap<String, RelayedSession>> {
         self.sessions.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn close(&self, params: &Value) {
         let session = params["session"].as_str().unwrap_or("");
         let removed = self.sessions().remove(session);
-        if let Some((server, name)) = removed {
+        if let Some(RelayedSession { server, name }) = removed {
             self.exchange(server, &sessions::tear_down(&server.to_string(), &name));
         }
     }
 
-    /// Passes an open to the next server; `None` where it does not set the session up.
+    /// Forwards an open to the next server; `None` where that does not set the session up.
     fn open(&self, params: &Value) -> Option<Value> {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         let server = self.servers[number % self.servers.len()];
@@ -170,24 +184,25 @@
             return None;
         }
         let media = format!("http://{server}{}", sessions::media_path(&name));
-        self.sessions().insert(session.clone(), (server, name));
+        let relayed = RelayedSession { server, name };
+        self.sessions().insert(session.clone(), relayed);
         Some(json!({"session": session, "media": media, "rung": 0}))
     }
 
-    /// Sends a request over a kept connection and gives the answer's status.
+    /// Sends a request over an idle connection or a new one; returns the status of the response.
     fn exchange(&self, server: SocketAddr, bytes: &[u8]) -> Option<u16> {
-        let keep_alive = self
+        let idle = self
             .idle
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .get_mut(&server)
             .and_then(Vec::pop);
-        let socket = match keep_alive.filter(|s| s.is_idle()) {
+        let socket = match idle.filter(|socket| socket.is_idle()) {
             Some(socket) => socket,
-            None => Arc::new(Socket::connect(&server, CONNECT).ok()?),
+            None => Arc::new(Socket::connect(&server, CONNECT_TIMEOUT).ok()?),
         };
         socket.write_all(bytes).ok()?;
-        let (response, _) = HttpExchange::new(socket.clone()).response(64 * 1024).ok()?;
+        let (response, _) = HttpExchange::new(socket.clone()).response(MAX_BODY).ok()?;
         if response.keeps_alive() {
             let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
             idle.entry(server).or_default().push(socket);
