Testbed: structs for pairs of figures; network, membership poll and set-up log have the field's names

Pairs and triples of numbers in public signatures are structs with named fields: losses, byte counts, flows, rates between zones, answer times, datagrams sent. `Mesh` is `PeerNetwork`, `Views` is `MembershipPoll`, `Ledger` is `SetUpLog`, `Taken` is `SetUpResult`; the methods on losses and addresses are named for what they record. What is printed and sent is the same.

--- a/crates/cli/src/testbed/cross_zone_summary.rs
+++ b/crates/cli/src/testbed/cross_zone_summary.rs
@@ -19,11 +19,12 @@
 
 fn print_peak(day: &Day, outcome: &Outcome) {
     let end = outcome.start + day.length;
-    let (all_kb, unbudgeted_kb) = outcome
+    let peak = outcome
         .crossed
         .peak(outcome.start, end, RATE_WINDOW_SECONDS);
     eprintln!(
-        "crossing: at most {all_kb:.0} kB/s over {RATE_WINDOW_SECONDS} s, {unbudgeted_kb:.0} of it not paid for"
+        "crossing: at most {:.0} kB/s over {RATE_WINDOW_SECONDS} s, {:.0} of it not paid for",
+        peak.all, peak.unpaid
     );
 }
 
--- a/crates/cli/src/testbed/fleet_processes.rs
+++ b/crates/cli/src/testbed/fleet_processes.rs
@@ -134,12 +134,11 @@
 
 fn print_cost(cost: Cost, sessions: usize) {
     let milliseconds = |time: Duration| nanoseconds(time) as f64 / NANOSECONDS_PER_MILLISECOND;
-    let (median, percentile_99) = cost.answered;
     eprintln!(
         "cost: half of the answers 'plays' within {:.1} ms, 99 of 100 within {:.1} ms; processor time of all fronts {:.2} s, \
          {:.2} ms a session asked for",
-        milliseconds(median),
-        milliseconds(percentile_99),
+        milliseconds(cost.answer_median),
+        milliseconds(cost.answer_percentile_99),
         nanoseconds(cost.cpu) as f64 / NANOSECONDS_PER_SECOND,
         milliseconds(cost.cpu) / sessions.max(1) as f64
     );
--- a/crates/cli/src/testbed/players.rs
+++ b/crates/cli/src/testbed/players.rs
@@ -37,7 +37,7 @@
     let habits = scenario_runner::habits(&day);
     let players = Arc::new(PlayerPool::new(recorder.clone(), habits));
     play_arrivals(front, &day, &config, seed, &players);
-    while players.there() > 0 {
+    while players.present_count() > 0 {
         std::thread::sleep(POLL_INTERVAL);
     }
     let verdict = check_records(&config, &recorder.all());
@@ -75,5 +75,5 @@
         "calls {}, answered once {}: played {}, refused {}, failed {}",
         verdict.sessions, verdict.answered_once, verdict.played, verdict.refused, verdict.failed
     );
-    println!("tries that found no front: {}", players.found_no_front());
+    println!("tries that found no front: {}", players.failed_connects());
 }
--- a/crates/cli/src/testbed/scenario.rs
+++ b/crates/cli/src/testbed/scenario.rs
@@ -85,14 +85,15 @@
     for fault in &outcome.faults {
         println!("fault: {fault}");
     }
-    let (sent_bytes, read_bytes) = outcome.bytes;
+    let (sent_bytes, read_bytes) = (outcome.bytes.sent, outcome.bytes.read);
     eprintln!(
         "played {}, refused {}, failed {}; media bytes sent {sent_bytes} read {read_bytes}; simulated servers, loopback",
         verdict.played, verdict.refused, verdict.failed
     );
-    for (flow, (sent, reported)) in &outcome.flows() {
+    for (flow, bytes) in outcome.flows() {
+        let (sent, reported) = (bytes.sent, bytes.reported);
         let (from, to, class) = (&flow.from, &flow.to, &flow.class);
-        let deviation_percent = (*reported as f64 / (*sent).max(1) as f64 - 1.0) * 100.0;
+        let deviation_percent = (reported as f64 / sent.max(1) as f64 - 1.0) * 100.0;
         eprintln!(
             "traffic {from} > {to}, {class}: servers sent {sent}, fronts report {reported} ({deviation_percent:+.2}%)"
         );
--- a/crates/testbed/src/crossing.rs
+++ b/crates/testbed/src/crossing.rs
@@ -21,11 +21,29 @@
     pub class: String,
 }
 
+/// Traffic between zones by the kind of service, kB a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct CrossZoneKb {
+    /// Of paid service.
+    pub paid: f64,
+    /// Of the rest.
+    pub unpaid: f64,
+}
+
+/// The highest mean rates of traffic between zones, kB a second.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PeakKb {
+    /// Of all traffic.
+    pub all: f64,
+    /// Of what is not paid for.
+    pub unpaid: f64,
+}
+
 /// A day's traffic between zones and its utility.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Crossed {
-    /// For each second of the day the traffic between zones at the rungs in force, kB a second: paid service, the rest.
-    pub seconds: BTreeMap<u64, (f64, f64)>,
+    /// The traffic between zones in each second of the clock, at the rungs in force.
+    pub seconds: BTreeMap<u64, CrossZoneKb>,
     /// Utility by class: seconds watched, times the rung's utility, times the class's priority weight; less where fewer
     /// bytes were sent than the rung needs.
     pub utility: BTreeMap<String, f64>,
@@ -190,26 +208,31 @@
             let start = start_of(second);
             let end = start + SECOND;
             let part = end.min(period.to).duration_since(start.max(period.from));
-            let (paid_kb, other_kb) = self.seconds.entry(second).or_default();
-            let sum = if paid { paid_kb } else { other_kb };
+            let traffic = self.seconds.entry(second).or_default();
+            let sum = if paid {
+                &mut traffic.paid
+            } else {
+                &mut traffic.unpaid
+            };
             *sum += kb * nanoseconds(part) as f64 / NANOSECONDS_PER_SECOND as f64;
         }
     }
 
-    /// The highest mean rate between zones over `over` seconds within two times, kB a second: of all traffic, and of what
-    /// is not paid for.
+    /// The highest mean rates over `over` seconds within two times.
     #[must_use]
-    pub fn peak(&self, from: Time, to: Time, over: u64) -> (f64, f64) {
+    pub fn peak(&self, from: Time, to: Time, over: u64) -> PeakKb {
         let at = |second: u64| self.seconds.get(&second).copied().unwrap_or_default();
-        let mean = |second: u64, of: &dyn Fn((f64, f64)) -> f64| {
+        let mean = |second: u64, of: &dyn Fn(CrossZoneKb) -> f64| {
             (second..second + over).map(|s| of(at(s))).sum::<f64>() / over.max(1) as f64
         };
         let seconds = second_of(from)..second_of(to).saturating_sub(over.saturating_sub(1));
-        seconds.fold((0.0, 0.0), |(all, rest), second| {
-            (
-                mean(second, &|(p, r)| p + r).max(all),
-                mean(second, &|(_, r)| r).max(rest),
-            )
+        let none = PeakKb {
+            all: 0.0,
+            unpaid: 0.0,
+        };
+        seconds.fold(none, |peak, second| PeakKb {
+            all: mean(second, &|kb| kb.paid + kb.unpaid).max(peak.all),
+            unpaid: mean(second, &|kb| kb.unpaid).max(peak.unpaid),
         })
     }
 
@@ -220,7 +243,7 @@
         let last = second_of(to).saturating_sub(over);
         let first = second_of(after);
         (first..last)
-            .find(|s| self.peak(start_of(*s), to, over).0 <= kb)
+            .find(|s| self.peak(start_of(*s), to, over).all <= kb)
             .map(|s| s - first)
     }
 }
--- a/crates/testbed/src/crossing/tests.rs
+++ b/crates/testbed/src/crossing/tests.rs
@@ -46,9 +46,9 @@
     ];
     let all = crossed(&records, &config);
     let close = |a: f64, b: f64| (a - b).abs() < 1e-6 * b.max(1.0);
-    assert!(close(all.seconds[&105].0, 28.0) && close(all.seconds[&115].0, 140.0));
-    assert!(close(all.peak(start_of(100), start_of(130), 2).0, 140.0));
-    assert_eq!(all.peak(start_of(100), start_of(130), 2).1, 0.0);
+    assert!(close(all.seconds[&105].paid, 28.0) && close(all.seconds[&115].paid, 140.0));
+    assert!(close(all.peak(start_of(100), start_of(130), 2).all, 140.0));
+    assert_eq!(all.peak(start_of(100), start_of(130), 2).unpaid, 0.0);
     assert_eq!(all.below(50.0, start_of(105), start_of(130), 1), Some(16));
     assert_eq!(
         all.below(10.0, start_of(105), start_of(121), 1),
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -13,14 +13,14 @@
 use crate::host_faults::Hosts;
 pub use crate::host_faults::Memory;
 use crate::invariant_checker::{judge, Rules, Verdict};
-use crate::membership_poll::Views;
+use crate::membership_poll::MembershipPoll;
 use crate::player::{Finder, Habits, PlayerPool};
 use crate::process::Process;
 use crate::record::{Record, Recorder, Seen};
 use crate::scenario_runner::{habits, DRAIN_GRACE, TIMING_TOLERANCE};
 use crate::script::Day;
 use crate::stage::Stage;
-use crate::udp_proxy::{write_key, Mesh};
+use crate::udp_proxy::{write_key, PeerNetwork};
 use crate::wind_down::{wait_for_players, wait_for_streams};
 use arrivals::Arrivals;
 pub use cost::Cost;
@@ -95,8 +95,8 @@
     seeds: Vec<usize>,
     /// The key of the fleet; `None` where the fronts don't know of each other.
     key: Option<PathBuf>,
-    mesh: Mesh,
-    views: Views,
+    network: PeerNetwork,
+    membership_poll: MembershipPoll,
     /// `None` where a front does not run.
     processes: Vec<Option<Process>>,
     stopped: Vec<bool>,
@@ -144,7 +144,7 @@
             }
             Act::Net { .. } | Act::Cut { .. } | Act::Heal | Act::Flood(..) => {
                 let act = act.clone();
-                self.mesh.change(move |net| {
+                self.network.change(move |net| {
                     net.act(&act, n, DelayRange { min: 0, max: 0 });
                 });
             }
@@ -161,15 +161,15 @@
     }
 
     fn state(&self, at: usize, of: usize) -> Option<MemberState> {
-        self.views.state(at, of)
+        self.membership_poll.state(at, of)
     }
 
     fn local_health(&self, at: usize) -> Option<LocalHealth> {
-        self.views.local_health(at)
+        self.membership_poll.local_health(at)
     }
 
     fn transitions(&self, from: u64) -> Vec<MemberTransition> {
-        self.views.state_changes(from)
+        self.membership_poll.state_changes(from)
     }
 
     fn entry(&self, _: usize) -> Option<Entry> {
@@ -178,11 +178,11 @@
 
     fn recovery_progress(&self, paid: bool) -> Option<RecoveryProgress> {
         self.hosts.as_ref()?;
-        let (restored, left, lost) = self.lost(paid);
+        let counts = self.lost(paid);
         Some(RecoveryProgress {
-            restored,
-            left,
-            lost,
+            restored: counts.restored,
+            left: counts.left,
+            lost: counts.lost,
         })
     }
 
@@ -194,8 +194,8 @@
         let elapsed = nanoseconds(clock::now().duration_since(self.began)).max(1);
         let time = elapsed as f64 / NANOSECONDS_PER_SECOND as f64;
         let rate = |i| {
-            let sent = self.mesh.sent(i);
-            (sent.0 as f64 / time, sent.1 as f64 / time)
+            let sent = self.network.sent(i);
+            (sent.datagrams as f64 / time, sent.bytes as f64 / time)
         };
         (0..self.processes.len())
             .map(rate)
@@ -213,8 +213,8 @@
     let stage = Stage::start(day, plan.seed)?;
     let mut harness = Harness::new(case, day, plan, &stage)?;
     harness.start(&case.first.of(harness.processes.len()))?;
-    let (players, views) = (harness.players.clone(), harness.views.clone());
-    let arrivals = Arrivals::start(day, &stage.config, plan.seed, &players, &views);
+    let (players, membership_poll) = (harness.players.clone(), harness.membership_poll.clone());
+    let arrivals = Arrivals::start(day, &stage.config, plan.seed, &players, &membership_poll);
     let played = play(case, &mut harness).map_err(io::Error::other);
     let mut faults = Vec::new();
     faults.extend(arrivals.stop());
@@ -227,8 +227,8 @@
     if !any_front_died(&stage.recorder) {
         faults.extend(wait_for_streams(&stage.fleet));
     }
-    faults.extend(views.missed());
-    views.end();
+    faults.extend(membership_poll.missed());
+    membership_poll.end();
     faults.extend(harness.end(&all)?);
     drop(harness);
     let records = stage.recorder.all();
@@ -250,18 +250,19 @@
     /// The network, players and hosts of a case; no front runs yet.
     fn new(case: &Case, day: &Day, plan: &'a Plan, stage: &'a Stage) -> io::Result<Harness<'a>> {
         let fronts = plan.fronts as usize;
-        let mesh = Mesh::start(fronts, plan.seed)?;
+        let network = PeerNetwork::start(fronts, plan.seed)?;
         let hosts = if case.needs_disks() {
             Some(Hosts::new(&plan.dir, plan.memory, plan.seed, fronts)?)
         } else {
             None
         };
-        let views = Views::start(fronts, &mesh);
+        let membership_poll = MembershipPoll::start(fronts, &network);
         let habits = Habits {
             keeps_key: hosts.is_some(),
             ..habits(day)
         };
-        let players = PlayerPool::new(stage.recorder.clone(), habits).finding(finder(&views));
+        let players =
+            PlayerPool::new(stage.recorder.clone(), habits).with_finder(finder(&membership_poll));
         let key = if plan.peers {
             Some(write_key(&plan.dir)?)
         } else {
@@ -272,8 +273,8 @@
             stage,
             seeds: case.seeds.of(fronts),
             key,
-            mesh,
-            views,
+            network,
+            membership_poll,
             processes: (0..fronts).map(|_| None).collect(),
             stopped: vec![false; fronts],
             others: vec![false; fronts],
@@ -285,10 +286,10 @@
 }
 
 /// Where players find a front again that was started anew.
-fn finder(views: &Views) -> Finder {
-    let views = views.clone();
+fn finder(membership_poll: &MembershipPoll) -> Finder {
+    let membership_poll = membership_poll.clone();
     Box::new(move |wanted| {
-        let running = views.running();
+        let running = membership_poll.running();
         let found = running.into_iter().find(|(front, _)| *front == wanted);
         found.map(|(_, address)| address)
     })
--- a/crates/testbed/src/fleet/arrivals.rs
+++ b/crates/testbed/src/fleet/arrivals.rs
@@ -1,5 +1,5 @@
 //! The players of a case: they arrive as on a day, until the case is over, and choose among the fronts that run.
-use crate::membership_poll::Views;
+use crate::membership_poll::MembershipPoll;
 use crate::player::PlayerPool;
 use crate::scenario_runner::{arrivals, Arrival};
 use crate::script::Day;
@@ -25,7 +25,7 @@
         config: &Config,
         seed: u64,
         players: &Arc<PlayerPool>,
-        views: &Views,
+        membership_poll: &MembershipPoll,
     ) -> Arrivals {
         let long_day = Day {
             length: LONGEST_CASE,
@@ -33,8 +33,10 @@
         };
         let drawn = arrivals(&long_day, config, seed);
         let over = Arc::new(AtomicBool::new(false));
-        let (players, views, case_over) = (players.clone(), views.clone(), over.clone());
-        let thread = std::thread::spawn(move || start_visits(drawn, &players, &views, &case_over));
+        let (players, membership_poll, case_over) =
+            (players.clone(), membership_poll.clone(), over.clone());
+        let thread =
+            std::thread::spawn(move || start_visits(drawn, &players, &membership_poll, &case_over));
         Arrivals { over, thread }
     }
 
@@ -49,7 +51,7 @@
 fn start_visits(
     arrivals: Vec<Arrival>,
     players: &Arc<PlayerPool>,
-    views: &Views,
+    membership_poll: &MembershipPoll,
     over: &AtomicBool,
 ) {
     let start = clock::now();
@@ -58,7 +60,7 @@
         if over.load(Ordering::Acquire) {
             return;
         }
-        visit.fronts = views.running();
+        visit.fronts = membership_poll.running();
         if visit.fronts.is_empty() {
             continue;
         }
--- a/crates/testbed/src/fleet/cost.rs
+++ b/crates/testbed/src/fleet/cost.rs
@@ -8,8 +8,10 @@
 /// What the fronts of a case cost, as players and the operating system measured it.
 #[derive(Clone, Copy, Debug)]
 pub struct Cost {
-    /// Median and 99th percentile of the time from a call to its answer 'plays'.
-    pub answered: (Duration, Duration),
+    /// Median of the time from a call to its answer 'plays'.
+    pub answer_median: Duration,
+    /// 99th percentile of that time.
+    pub answer_percentile_99: Duration,
     /// Processor time of all fronts that ended.
     pub cpu: Duration,
 }
@@ -24,7 +26,8 @@
             times.get(index).copied().unwrap_or_default()
         };
         Cost {
-            answered: (percentile(0.5), percentile(0.99)),
+            answer_median: percentile(0.5),
+            answer_percentile_99: percentile(0.99),
             cpu: children_cpu_time(),
         }
     }
--- a/crates/testbed/src/fleet/power.rs
+++ b/crates/testbed/src/fleet/power.rs
@@ -1,11 +1,12 @@
 //! Power losses of the hosts of fronts and servers.
 use super::Harness;
+use crate::player::LossCounts;
 use crankpaddle_fault_simulation::{Fronts, Power};
 use std::io;
 
 impl Harness<'_> {
     /// Viewers that lost their session with the power, of all classes or the paid ones.
-    pub(super) fn lost(&self, paid: bool) -> (u64, u64, u64) {
+    pub(super) fn lost(&self, paid: bool) -> LossCounts {
         let is_paid = |class: u8| {
             let classes = &self.stage.config.settings.classes;
             let class = classes.get(usize::from(class));
@@ -50,7 +51,7 @@
     }
 
     fn power_off(&mut self, fronts: &[usize], servers: &[usize], list: bool) -> io::Result<()> {
-        self.players.power_went();
+        self.players.on_power_loss();
         if let Some(hosts) = &mut self.hosts {
             hosts.off(fronts)?;
             // Why: the servers first, by microseconds, as in a real power loss: a front that runs on for that long sees
--- a/crates/testbed/src/fleet/processes.rs
+++ b/crates/testbed/src/fleet/processes.rs
@@ -31,7 +31,7 @@
         let peers = self
             .key
             .as_ref()
-            .map(|key| self.mesh.block(front, &self.seeds, key, probe_every));
+            .map(|key| self.network.block(front, &self.seeds, key, probe_every));
         let store = self.hosts.as_ref().map(|hosts| hosts.block(front));
         with_workers(&block, self.plan.workers)
             + &peers.unwrap_or_default()
@@ -61,7 +61,8 @@
         }
         for (front, process) in self.start_processes(&configs) {
             let process = process?;
-            self.views.runs(front, Some(process.address));
+            self.membership_poll
+                .set_address(front, Some(process.address));
             self.processes[front] = Some(process);
         }
         Ok(())
@@ -98,7 +99,7 @@
                 };
                 self.stage.recorder.see(died);
                 process.signal(Signal::KILL);
-                self.views.runs(front, None);
+                self.membership_poll.set_address(front, None);
             }
         }
         for front in fronts.iter().copied() {
@@ -116,7 +117,7 @@
             ending.extend(self.processes[front].take());
         }
         for front in fronts.iter().copied() {
-            self.views.runs(front, None);
+            self.membership_poll.set_address(front, None);
         }
         let drain = Duration::from_nanos(self.stage.config.limits.drain);
         end_all(ending.iter_mut(), drain + PROCESS_END_GRACE)
--- a/crates/testbed/src/loss_analysis/tests.rs
+++ b/crates/testbed/src/loss_analysis/tests.rs
@@ -1,22 +1,30 @@
 use super::*;
 
+fn counts(restored: u64, left: u64, lost: u64) -> LossCounts {
+    LossCounts {
+        restored,
+        left,
+        lost,
+    }
+}
+
 #[test]
-fn only_who_was_cut_off_counts_and_who_is_cut_off_again_counts_once() {
-    let mut l = Losses::default();
-    l.is_cut_off(9, 0); // Before the power went.
-    l.power_went();
-    l.watches(5, 0); // Goes on undisturbed.
+fn viewers_disconnected_after_the_power_loss_count_once_however_often() {
+    let mut losses = Losses::default();
+    losses.on_disconnected(9, 0); // Before the power loss.
+    losses.on_power_loss();
+    losses.on_established(5, 0); // Was never disconnected.
     for visit in 1..=4 {
-        l.is_cut_off(visit, (visit % 2) as u8);
+        losses.on_disconnected(visit, (visit % 2) as u8);
     }
-    assert_eq!(l.count(|_| true), (0, 0, 4));
-    l.watches(1, 1);
-    l.leaves(2);
-    l.leaves(5);
+    assert_eq!(losses.count(|_| true), counts(0, 0, 4));
+    losses.on_established(1, 1);
+    losses.on_left(2);
+    losses.on_left(5);
     assert_eq!(
-        (l.count(|_| true), l.count(|class| class == 1)),
-        ((1, 1, 4), (1, 0, 2))
+        (losses.count(|_| true), losses.count(|class| class == 1)),
+        (counts(1, 1, 4), counts(1, 0, 2))
     );
-    l.is_cut_off(1, 1);
-    assert_eq!(l.count(|_| true), (0, 1, 4));
+    losses.on_disconnected(1, 1);
+    assert_eq!(losses.count(|_| true), counts(0, 1, 4));
 }
--- a/crates/testbed/src/membership_poll.rs
+++ b/crates/testbed/src/membership_poll.rs
@@ -1,5 +1,5 @@
-//! What fronts report of each other at `GET /members`, polled all the time: the only source about members that a case uses.
-use crate::udp_proxy::Mesh;
+//! Polls what fronts report of each other at `GET /members`, the only source about members that a case uses.
+use crate::udp_proxy::PeerNetwork;
 use crankpaddle_api::describe::{Members, OwnStanding, PeerState};
 use crankpaddle_fault_simulation::{front_number, MemberTransition};
 use crankpaddle_membership::{LocalHealth, MemberState};
@@ -34,18 +34,19 @@
     missed: Vec<String>,
 }
 
-/// The views of all fronts, updated by a thread for each front.
+/// What all fronts report, updated by a thread for each front. Copies share it.
 #[derive(Clone)]
-pub struct Views {
+pub struct MembershipPoll {
     state: Arc<Mutex<State>>,
     over: Arc<AtomicBool>,
-    mesh: Mesh,
+    network: PeerNetwork,
 }
 
-impl Views {
-    /// Starts to poll; no front runs yet. The addresses at which fronts are reached by their peers are passed to the mesh.
+impl MembershipPoll {
+    /// Starts to poll; no front runs yet. The addresses at which fronts are reached by their peers are passed to the network
+    /// between the fronts.
     #[must_use]
-    pub fn start(fronts: usize, mesh: &Mesh) -> Views {
+    pub fn start(fronts: usize, network: &PeerNetwork) -> MembershipPoll {
         let new_view = |_| View {
             states: vec![None; fronts],
             ..View::default()
@@ -54,29 +55,29 @@
             views: (0..fronts).map(new_view).collect(),
             ..State::default()
         };
-        let views = Views {
+        let polls = MembershipPoll {
             state: Arc::new(Mutex::new(state)),
             over: Arc::default(),
-            mesh: mesh.clone(),
+            network: network.clone(),
         };
         for front in 0..fronts {
-            let views = views.clone();
+            let polls = polls.clone();
             std::thread::spawn(move || {
-                while !views.over.load(Ordering::Acquire) {
-                    views.poll(front);
+                while !polls.over.load(Ordering::Acquire) {
+                    polls.poll(front);
                     std::thread::sleep(POLL_INTERVAL);
                 }
             });
         }
-        views
+        polls
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Sets where a front runs from now on, without any state; `None`: it does not run any more.
-    pub fn runs(&self, front: usize, address: Option<SocketAddr>) {
+    /// Sets the address of a front's new incarnation, which has reported nothing yet; `None` where it does not run any more.
+    pub fn set_address(&self, front: usize, address: Option<SocketAddr>) {
         let mut state = self.lock();
         let view = &mut state.views[front];
         view.address = address;
@@ -110,7 +111,7 @@
             return;
         };
         if let Ok(peer_address) = members.address.parse() {
-            self.mesh.home(front, peer_address);
+            self.network.set_front_address(front, peer_address);
         }
         let mut state = self.lock();
         if state.views[front].incarnation == incarnation {
--- a/crates/testbed/src/model.rs
+++ b/crates/testbed/src/model.rs
@@ -45,15 +45,15 @@
     recent_set_ups: VecDeque<Time>,
 }
 
-/// The result of a set-up.
+/// What a server does with a set-up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Taken {
+pub enum SetUpResult {
     /// Accepted; the work is done at this time.
     DoneAt(Time),
     /// Rejected for lack of capacity: it never ran.
     Full,
     /// The server was overloaded during its slow start and stops.
-    Falls,
+    Overloaded,
 }
 
 /// A fleet.
@@ -119,25 +119,25 @@
     ///
     /// # Panics
     /// There is no server of this number.
-    pub fn set_up(&mut self, server: usize, stream: u64, kb: f64, now: Time) -> Taken {
+    pub fn set_up(&mut self, server: usize, stream: u64, kb: f64, now: Time) -> SetUpResult {
         let warm_up_progress = self.warm_up_progress(server, now);
         let link_demand = self.link_demand(server);
         let spec = &self.spec;
         let server = &mut self.servers[server];
         if server.is_overloaded_by_set_up(spec, warm_up_progress, now) {
-            return Taken::Falls;
+            return SetUpResult::Overloaded;
         }
         let no_place = server.streams.len() >= spec.places as usize;
         let no_bandwidth = spec.guard > 0.0 && link_demand >= spec.guard;
         if no_place || no_bandwidth {
-            return Taken::Full;
+            return SetUpResult::Full;
         }
         server.streams.insert(stream, kb);
         let core = server.busy_until.iter_mut().min();
         let core = core.expect("a server has a core");
         let work = nanoseconds(spec.work) as f64 / warm_up_progress;
         *core = (*core).max(now) + Duration::from_nanos(work as u64);
-        Taken::DoneAt(*core)
+        SetUpResult::DoneAt(*core)
     }
 
     /// Changes the rate of a stream.
--- a/crates/testbed/src/model/tests.rs
+++ b/crates/testbed/src/model/tests.rs
@@ -47,14 +47,14 @@
 #[test]
 fn set_ups_queue_for_cores_and_places() {
     let mut m = model();
-    let done: Vec<Taken> = (0..3).map(|n| m.set_up(0, n, 1.0, at(1))).collect();
+    let done: Vec<SetUpResult> = (0..3).map(|n| m.set_up(0, n, 1.0, at(1))).collect();
     let (first, second) = (
-        Taken::DoneAt(at(1) + SECOND / 10),
-        Taken::DoneAt(at(1) + SECOND / 5),
+        SetUpResult::DoneAt(at(1) + SECOND / 10),
+        SetUpResult::DoneAt(at(1) + SECOND / 5),
     );
     assert_eq!(done, [first, first, second]);
-    assert!((3..20).all(|n| m.set_up(0, n, 1.0, at(1)) != Taken::Full));
-    assert_eq!(m.set_up(0, 20, 1.0, at(1)), Taken::Full);
+    assert!((3..20).all(|n| m.set_up(0, n, 1.0, at(1)) != SetUpResult::Full));
+    assert_eq!(m.set_up(0, 20, 1.0, at(1)), SetUpResult::Full);
 }
 
 #[test]
@@ -63,9 +63,11 @@
     m.start(0, at(100));
     assert_eq!(m.warm_up_progress(0, at(105)), 0.75);
     let sent = |m: &mut Model, n| m.set_up(0, n, 1.0, at(100) + Duration::from_nanos(1));
-    assert!((0..3).all(|n| matches!(sent(&mut m, n), Taken::DoneAt(_))));
-    assert_eq!(sent(&mut m, 3), Taken::Falls);
+    assert!((0..3).all(|n| matches!(sent(&mut m, n), SetUpResult::DoneAt(_))));
+    assert_eq!(sent(&mut m, 3), SetUpResult::Overloaded);
     m.start(0, at(100));
     let paced = (0..19).map(|n| m.set_up(0, u64::from(n), 1.0, at(100) + n * SECOND / 2));
-    assert!(paced.into_iter().all(|t| matches!(t, Taken::DoneAt(_))));
+    assert!(paced
+        .into_iter()
+        .all(|t| matches!(t, SetUpResult::DoneAt(_))));
 }
--- a/crates/testbed/src/player/attempt.rs
+++ b/crates/testbed/src/player/attempt.rs
@@ -184,11 +184,11 @@
         attempt: &Attempt<'_>,
     ) -> Outcome {
         let visit = attempt.visit;
-        self.losses().watches(visit.seed, visit.class.0);
+        self.losses().on_established(visit.seed, visit.class.0);
         let left = attempt.until.duration_since(clock::now());
         let outcome = self.watch(client, session, media, visit.watch.min(left));
         if !matches!(outcome, Outcome::Watched) {
-            self.losses().is_cut_off(visit.seed, visit.class.0);
+            self.losses().on_disconnected(visit.seed, visit.class.0);
         }
         outcome
     }
--- a/crates/testbed/src/player/mod.rs
+++ b/crates/testbed/src/player/mod.rs
@@ -7,6 +7,7 @@
 mod client;
 mod watch;
 
+pub use crate::loss_analysis::LossCounts;
 use crate::loss_analysis::Losses;
 use crate::record::Recorder;
 use attempt::{Attempt, Outcome};
@@ -95,7 +96,7 @@
 
     /// The same pool, whose players look here for a front that disconnected them.
     #[must_use]
-    pub fn finding(self, finder: Finder) -> PlayerPool {
+    pub fn with_finder(self, finder: Finder) -> PlayerPool {
         PlayerPool { finder, ..self }
     }
 
@@ -108,14 +109,13 @@
         clock::now() < until && !self.leaving.load(Ordering::Acquire)
     }
 
-    /// Marks the power loss: a player that is cut off from now on has lost its session to it.
-    pub fn power_went(&self) {
-        self.losses().power_went();
+    /// Marks the power loss: a player that is disconnected from now on has lost its session to it.
+    pub fn on_power_loss(&self) {
+        self.losses().on_power_loss();
     }
 
-    /// Of the players in such a class that lost their session to the power loss: how many watch again, how many left
-    /// without, and how many there are.
-    pub fn lost(&self, of: impl Fn(u8) -> bool) -> (u64, u64, u64) {
+    /// Counts the players that lost their session to the power loss, of the classes that `of` accepts.
+    pub fn lost(&self, of: impl Fn(u8) -> bool) -> LossCounts {
         self.losses().count(of)
     }
 
@@ -124,12 +124,12 @@
     }
 
     /// Number of players that are present.
-    pub fn there(&self) -> u64 {
+    pub fn present_count(&self) -> u64 {
         self.present.load(Ordering::Acquire)
     }
 
     /// Number of attempts that could not connect to a front.
-    pub fn found_no_front(&self) -> u64 {
+    pub fn failed_connects(&self) -> u64 {
         self.failed_connects.load(Ordering::Acquire)
     }
 
@@ -158,7 +158,7 @@
             sleep(self.pause(retry_after, &mut rng));
             returning = true;
         }
-        self.losses().leaves(visit.seed);
+        self.losses().on_left(visit.seed);
         self.present.fetch_sub(1, Ordering::AcqRel);
     }
 
--- a/crates/testbed/src/scenario_runner/mod.rs
+++ b/crates/testbed/src/scenario_runner/mod.rs
@@ -13,14 +13,14 @@
 
 use crate::crossing::{crossed, Crossed, FlowKey};
 use crate::invariant_checker::{judge, Rules, Verdict};
-use crate::membership_poll::Views;
+use crate::membership_poll::MembershipPoll;
 use crate::player::Habits;
 use crate::process::end_all;
 use crate::record::{Record, Seen};
 use crate::script::Day;
-use crate::server::Layout;
+pub use crate::stage::layout;
 use crate::stage::Stage;
-use crate::udp_proxy::{write_key, Mesh};
+use crate::udp_proxy::{write_key, PeerNetwork};
 pub use arrivals::{arrivals, Arrival};
 use crankpaddle_cross_zone_traffic::report::{merge, TrafficReport};
 use crankpaddle_net::clock;
@@ -73,8 +73,8 @@
     pub records: Vec<Record>,
     /// What went wrong outside the rules: fronts that ended badly, streams left at servers, bytes that differ.
     pub faults: Vec<String>,
-    /// Media bytes that servers sent and players read.
-    pub bytes: (u64, u64),
+    /// Media bytes as both sides counted them.
+    pub bytes: ByteCounts,
     /// Traffic between zones and utility, by the servers' own records.
     pub crossed: Crossed,
     /// The fronts' traffic reports, merged.
@@ -84,12 +84,12 @@
 }
 
 impl Outcome {
-    /// Bytes of each flow: by the servers' own records, and by the fronts' reports.
+    /// Bytes of each flow.
     #[must_use]
-    pub fn flows(&self) -> BTreeMap<FlowKey, (u64, u64)> {
-        let mut all: BTreeMap<FlowKey, (u64, u64)> = BTreeMap::new();
+    pub fn flows(&self) -> BTreeMap<FlowKey, FlowBytes> {
+        let mut all: BTreeMap<FlowKey, FlowBytes> = BTreeMap::new();
         for (key, bytes) in &self.crossed.bytes {
-            all.entry(key.clone()).or_default().0 += bytes;
+            all.entry(key.clone()).or_default().sent += bytes;
         }
         for flow in &self.reported.flows {
             let key = FlowKey {
@@ -97,7 +97,7 @@
                 to: flow.to.clone(),
                 class: flow.class.clone(),
             };
-            all.entry(key).or_default().1 += flow.bytes;
+            all.entry(key).or_default().reported += flow.bytes;
         }
         all
     }
@@ -109,19 +109,6 @@
     }
 }
 
-/// The layout of a day's stand-in servers.
-#[must_use]
-pub fn layout(day: &Day, seed: u64) -> Layout {
-    Layout {
-        count: day.servers as usize,
-        cores: day.cores as usize,
-        work: day.work,
-        uneven: day.uneven,
-        segment: day.segment,
-        seed,
-    }
-}
-
 /// How a day's players behave.
 #[must_use]
 pub fn habits(day: &Day) -> Habits {
@@ -149,7 +136,7 @@
     let addresses = fronts.iter().map(|front| &front.process.address);
     let reported = merge(addresses.filter_map(settled_report));
     if let Some(peering) = &peering {
-        peering.views.end();
+        peering.membership_poll.end();
     }
     // Why: the fronts are ended before the result of the run is looked at, so that none is left behind.
     let mut faults = Vec::new();
@@ -165,7 +152,7 @@
         verdict,
         records,
         faults,
-        bytes: (bytes.sent, bytes.read),
+        bytes,
         crossed,
         reported,
         start,
@@ -174,9 +161,9 @@
 
 /// The network between fronts that know each other.
 struct Peering {
-    mesh: Mesh,
+    network: PeerNetwork,
     key: PathBuf,
-    views: Views,
+    membership_poll: MembershipPoll,
 }
 
 impl Peering {
@@ -186,15 +173,19 @@
             return Ok(None);
         }
         let fronts = day.fronts as usize;
-        let mesh = Mesh::start(fronts, play.seed)?;
+        let network = PeerNetwork::start(fronts, play.seed)?;
         let key = write_key(&play.dir)?;
-        let views = Views::start(fronts, &mesh);
-        Ok(Some(Peering { mesh, key, views }))
+        let membership_poll = MembershipPoll::start(fronts, &network);
+        Ok(Some(Peering {
+            network,
+            key,
+            membership_poll,
+        }))
     }
 
     /// The peers' block of a front's configuration.
     fn block(&self, front: usize) -> String {
-        self.mesh.block(front, &[0], &self.key, PROBE_INTERVAL)
+        self.network.block(front, &[0], &self.key, PROBE_INTERVAL)
     }
 }
 
@@ -210,7 +201,9 @@
         let peers = peering.map(|p| p.block(number)).unwrap_or_default();
         let front = Front::start(play, index, day, stage, &peers)?;
         if let Some(peering) = peering {
-            peering.views.runs(number, Some(front.process.address));
+            peering
+                .membership_poll
+                .set_address(number, Some(front.process.address));
         }
         fronts.push(front);
     }
@@ -233,13 +226,25 @@
 }
 
 /// Media bytes as both sides counted them.
-struct ByteCounts {
-    sent: u64,
-    read: u64,
+#[derive(Clone, Copy, Debug)]
+pub struct ByteCounts {
+    /// Bytes that servers sent.
+    pub sent: u64,
+    /// Bytes that players read.
+    pub read: u64,
     /// Sessions that players read.
     watched_sessions: u64,
 }
 
+/// Bytes of a flow as both sides counted them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FlowBytes {
+    /// By the servers' own records.
+    pub sent: u64,
+    /// By the fronts' reports.
+    pub reported: u64,
+}
+
 fn count_bytes(records: &[Record]) -> ByteCounts {
     let mut counts = ByteCounts {
         sent: 0,
--- a/crates/testbed/src/scenario_runner/timeline.rs
+++ b/crates/testbed/src/scenario_runner/timeline.rs
@@ -67,9 +67,9 @@
     let mut faults = Vec::new();
     faults.extend(wait_for_players(&players, deadline));
     faults.extend(wait_for_streams(&stage.fleet));
-    let found_no_front = players.found_no_front();
-    if found_no_front > 0 {
-        faults.push(format!("{found_no_front} tries found no front"));
+    let failed_connects = players.failed_connects();
+    if failed_connects > 0 {
+        faults.push(format!("{failed_connects} tries found no front"));
     }
     Ok(faults)
 }
--- a/crates/testbed/src/server/fleet.rs
+++ b/crates/testbed/src/server/fleet.rs
@@ -162,7 +162,7 @@
 
     /// Erases what a server wrote down of its previous incarnations. It keeps the sessions that play.
     pub fn lose_inventory(&self, id: u32) {
-        lock(&self.servers[id as usize].ledger).lose();
+        lock(&self.servers[id as usize].set_up_log).lose();
     }
 
     /// Changes the faults of a server.
--- a/crates/testbed/src/server/mod.rs
+++ b/crates/testbed/src/server/mod.rs
@@ -12,7 +12,7 @@
 
 use crate::fault_mode::Mode;
 use crate::record::Seen;
-use crate::setup_log::Ledger;
+use crate::setup_log::SetUpLog;
 use crankpaddle_http::problem::Problem;
 use crankpaddle_net::exchange::HttpExchange;
 use crankpaddle_net::{accept_each, clock, sleep, Socket, WriteBuffer};
@@ -54,7 +54,7 @@
     pub(crate) event_streams: Mutex<HashMap<String, Arc<WriteBuffer>>>,
     /// Sessions by name.
     pub(crate) sessions: Mutex<BTreeMap<String, Session>>,
-    ledger: Mutex<Ledger>,
+    set_up_log: Mutex<SetUpLog>,
     /// When its process started, nanoseconds; 0: long ago.
     started_at: AtomicU64,
     /// Names that were torn down without a session: a later set-up fails.
@@ -83,7 +83,7 @@
             sockets: Mutex::default(),
             event_streams: Mutex::default(),
             sessions: Mutex::default(),
-            ledger: Mutex::new(Ledger::new(1)),
+            set_up_log: Mutex::new(SetUpLog::new(1)),
             started_at: AtomicU64::new(0),
             ended_early: Mutex::default(),
             fenced: Mutex::default(),
@@ -103,7 +103,7 @@
     /// Numbers the incarnation that starts now.
     fn begin_incarnation(&self) {
         let incarnation = self.incarnation.fetch_add(1, Ordering::AcqRel) + 1;
-        lock(&self.ledger).started(incarnation);
+        lock(&self.set_up_log).started(incarnation);
         self.started_at
             .store(clock::now().as_nanos(), Ordering::Release);
     }
--- a/crates/testbed/src/server/sessions.rs
+++ b/crates/testbed/src/server/sessions.rs
@@ -29,7 +29,7 @@
             .collect();
         let in_progress = of_front(false).map(|(name, _)| name.clone()).collect();
         let age_ms = self.age().as_millis() as u64;
-        let inventory = lock(&self.ledger).inventory(front, age_ms, active, in_progress);
+        let inventory = lock(&self.set_up_log).inventory(front, age_ms, active, in_progress);
         let body = serde_json::to_vec(&inventory).unwrap_or_default();
         head::response(200, &JSON, &body)
     }
@@ -61,7 +61,7 @@
     }
 
     pub(super) fn tear_down(&self, fleet: &Fleet, name: &str) -> Vec<u8> {
-        if !lock(&self.ledger).has(name) {
+        if !lock(&self.set_up_log).has(name) {
             lock(&self.fenced).insert(name.to_owned());
         }
         let Some(sent_bytes) = self.end(fleet, name) else {
--- a/crates/testbed/src/server/set_up.rs
+++ b/crates/testbed/src/server/set_up.rs
@@ -2,7 +2,7 @@
 use super::session::Session;
 use super::{lock, Fleet, Server};
 use crate::fault_mode::Mode;
-use crate::model::Taken;
+use crate::model::SetUpResult;
 use crate::record::{Reply, Seen};
 use crankpaddle_http::head;
 use crankpaddle_http::orca;
@@ -75,7 +75,7 @@
 
     /// Writes a bill for a session: from now on it counts as run.
     fn bill(&self, fleet: &Fleet, name: &str, order: &SetUpBody) {
-        lock(&self.ledger).ran(name, order);
+        lock(&self.set_up_log).ran(name, order);
         fleet.recorder.see(Seen::Billed {
             name: name.to_owned(),
             bill: order.bill.clone(),
@@ -139,15 +139,15 @@
         let taken =
             lock(&self.fleet.model).set_up(self.server.id as usize, stream, rate, clock::now());
         match taken {
-            Taken::DoneAt(time) => Ok(time),
-            Taken::Full => {
+            SetUpResult::DoneAt(time) => Ok(time),
+            SetUpResult::Full => {
                 let problem = Problem {
                     kind: FULL.into(),
                     ..Problem::of(503, "no room")
                 };
                 Err(self.answer(Reply::Full, &problem))
             }
-            Taken::Falls => {
+            SetUpResult::Overloaded => {
                 let server = self.server.id;
                 self.fleet.recorder.see(Seen::Fell { server });
                 self.record_reply(Reply::Reset);
--- a/crates/testbed/src/setup_log.rs
+++ b/crates/testbed/src/setup_log.rs
@@ -7,7 +7,7 @@
 
 /// The log of one server.
 #[derive(Debug)]
-pub(crate) struct Ledger {
+pub(crate) struct SetUpLog {
     /// Incarnations that the log covers, the present one last.
     incarnations: Vec<String>,
     /// Sessions that ran, by the name of their front.
@@ -16,9 +16,9 @@
     names: BTreeSet<String>,
 }
 
-impl Ledger {
-    pub(crate) fn new(incarnation: u64) -> Ledger {
-        Ledger {
+impl SetUpLog {
+    pub(crate) fn new(incarnation: u64) -> SetUpLog {
+        SetUpLog {
             incarnations: vec![incarnation.to_string()],
             ran: BTreeMap::new(),
             names: BTreeSet::new(),
--- a/crates/testbed/src/stage.rs
+++ b/crates/testbed/src/stage.rs
@@ -1,14 +1,26 @@
 //! The stand-ins that the fronts of a day or a case run against.
 use crate::list_service::ListService;
 use crate::record::Recorder;
-use crate::scenario_runner::layout;
 use crate::script::{fleet_config, Day};
-use crate::server::Fleet;
+use crate::server::{Fleet, Layout};
 use crankpaddle_config::Config;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
+/// The layout of a day's stand-in servers.
+#[must_use]
+pub fn layout(day: &Day, seed: u64) -> Layout {
+    Layout {
+        count: day.servers as usize,
+        cores: day.cores as usize,
+        work: day.work,
+        uneven: day.uneven,
+        segment: day.segment,
+        seed,
+    }
+}
+
 /// Servers and their list service, with the configuration that fronts need for them.
 pub(crate) struct Stage {
     pub(crate) config: Arc<Config>,
--- a/crates/testbed/src/udp_proxy.rs
+++ b/crates/testbed/src/udp_proxy.rs
@@ -44,7 +44,16 @@
 /// The socket of each ordered pair of fronts, `None` for a front and itself.
 type Sockets = Vec<Option<UdpSocket>>;
 
-/// What a front sent.
+/// What a front sent so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SentTotals {
+    /// Datagrams.
+    pub datagrams: u64,
+    /// Their bytes.
+    pub bytes: u64,
+}
+
+/// The counters behind [`SentTotals`].
 #[derive(Default)]
 struct SentCounts {
     datagrams: AtomicU64,
@@ -53,19 +62,19 @@
 
 /// A handle on the network between the fronts.
 #[derive(Clone)]
-pub struct Mesh {
+pub struct PeerNetwork {
     size: usize,
     addresses: Vec<Option<SocketAddr>>,
     changes: Arc<Changes>,
     sent: Arc<Vec<SentCounts>>,
 }
 
-impl Mesh {
+impl PeerNetwork {
     /// Opens all sockets; the network is without faults. It runs until all copies of this handle are dropped.
     ///
     /// # Errors
     /// A socket can't be opened.
-    pub fn start(size: usize, seed: u64) -> io::Result<Mesh> {
+    pub fn start(size: usize, seed: u64) -> io::Result<PeerNetwork> {
         let poll = epoll::create(CreateFlags::CLOEXEC)?;
         let sockets = open_sockets(size, &poll)?;
         let address = |socket: &Option<UdpSocket>| {
@@ -89,7 +98,7 @@
         };
         let handle_changes = Arc::downgrade(&changes);
         std::thread::spawn(move || proxy.run(&handle_changes));
-        Ok(Mesh {
+        Ok(PeerNetwork {
             size,
             addresses,
             changes,
@@ -99,7 +108,7 @@
 
     /// The address at which a front's configuration has another front.
     #[must_use]
-    pub fn way(&self, from: usize, to: usize) -> Option<SocketAddr> {
+    pub fn address(&self, from: usize, to: usize) -> Option<SocketAddr> {
         self.addresses.get(from * self.size + to).copied().flatten()
     }
 
@@ -107,20 +116,20 @@
     #[must_use]
     pub fn block(&self, front: usize, seeds: &[usize], key: &Path, probe_every: &str) -> String {
         let seed = |seed: &usize| {
-            let address = self.way(front, *seed)?;
+            let address = self.address(front, *seed)?;
             Some(format!("  seed: \"{address}\"\n"))
         };
-        let way = |to: usize| {
-            let address = self.way(front, to)?;
+        let peer = |to: usize| {
+            let address = self.address(front, to)?;
             Some(format!(
                 "  way {{ name: \"front-{to}\" address: \"{address}\" }}\n"
             ))
         };
         let seeds: String = seeds.iter().filter_map(seed).collect();
-        let ways: String = (0..self.size).filter_map(way).collect();
+        let peers: String = (0..self.size).filter_map(peer).collect();
         format!(
             "peers {{\n  name: \"front-{front}\"\n  listen: \"127.0.0.1:0\"\n  key_file: {key:?}\n  \
-             probe_every: {probe_every:?}\n{seeds}{ways}}}\n"
+             probe_every: {probe_every:?}\n{seeds}{peers}}}\n"
         )
     }
 
@@ -136,18 +145,19 @@
 
     /// Sets a front's own address, as the front reports it. Why: a front without seeds sends nothing by which it could be
     /// learned.
-    pub fn home(&self, front: usize, address: SocketAddr) {
+    pub fn set_front_address(&self, front: usize, address: SocketAddr) {
         self.queue(Box::new(move |proxy| {
             proxy.front_addresses[front] = Some(address);
         }));
     }
 
-    /// Datagrams and bytes that a front sent.
+    /// What a front sent so far.
     #[must_use]
-    pub fn sent(&self, front: usize) -> (u64, u64) {
-        self.sent.get(front).map_or((0, 0), |counts| {
-            let datagrams = counts.datagrams.load(Ordering::Relaxed);
-            (datagrams, counts.bytes.load(Ordering::Relaxed))
+    pub fn sent(&self, front: usize) -> SentTotals {
+        let counts = self.sent.get(front);
+        counts.map_or(SentTotals::default(), |counts| SentTotals {
+            datagrams: counts.datagrams.load(Ordering::Relaxed),
+            bytes: counts.bytes.load(Ordering::Relaxed),
         })
     }
 }
--- a/crates/testbed/src/wind_down.rs
+++ b/crates/testbed/src/wind_down.rs
@@ -11,10 +11,10 @@
 
 /// Waits until no player is there; the fault where some are left at the deadline.
 pub(crate) fn wait_for_players(players: &PlayerPool, deadline: Time) -> Option<String> {
-    while players.there() > 0 && clock::now() < deadline {
+    while players.present_count() > 0 && clock::now() < deadline {
         std::thread::sleep(CHECK_INTERVAL);
     }
-    let left = players.there();
+    let left = players.present_count();
     (left > 0).then(|| format!("{left} players never left"))
 }
 
