Testbed: the class of a visit and the address of a front are structs

A visit had its class and its fronts as pairs; `class.0` and `class.1` said nothing. The field for players that follow a Retry-After is named for that; scripts keep their field names. Clippy was clean for testbed, benchmark, cli and daemon.

--- a/crates/cli/src/testbed/players.rs
+++ b/crates/cli/src/testbed/players.rs
@@ -5,7 +5,7 @@
 use crankpaddle_config::Config;
 use crankpaddle_net::{clock, spawn, Stack};
 use crankpaddle_testbed::invariant_checker::Verdict;
-use crankpaddle_testbed::player::PlayerPool;
+use crankpaddle_testbed::player::{FrontAddress, PlayerPool};
 use crankpaddle_testbed::record::Recorder;
 use crankpaddle_testbed::scenario_runner::{self, Arrival};
 use crankpaddle_testbed::script::Day;
@@ -58,7 +58,10 @@
     let end = start + day.length;
     for Arrival { at, mut visit } in scenario_runner::arrivals(day, config, seed) {
         std::thread::sleep((start + at).duration_since(clock::now()));
-        visit.fronts = vec![(0, front)];
+        visit.fronts = vec![FrontAddress {
+            number: 0,
+            address: front,
+        }];
         visit.watch = visit.watch.min(day.length - at);
         let players = players.clone();
         spawn(Stack::Usual, move || players.visit(&visit, end));
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -122,14 +122,13 @@
     }
 
     fn act(&mut self, act: &Act) -> Result<(), ActionError> {
-        let n = self.processes.len();
-        let of = |fronts: &Fronts| fronts.of(n);
-        let to_text = ActionError::Io;
+        let size = self.processes.len();
+        let of = |fronts: &Fronts| fronts.of(size);
         match act {
-            Act::Start(fronts) => self.start(&of(fronts)).map_err(to_text)?,
-            Act::Kill(fronts) => self.kill(&of(fronts)).map_err(to_text)?,
+            Act::Start(fronts) => self.start(&of(fronts)).map_err(ActionError::Io)?,
+            Act::Kill(fronts) => self.kill(&of(fronts)).map_err(ActionError::Io)?,
             Act::End(fronts) => {
-                let faults = self.end(&of(fronts)).map_err(to_text)?;
+                let faults = self.end(&of(fronts)).map_err(ActionError::Io)?;
                 if !faults.is_empty() {
                     return Err(ActionError::Faults(faults));
                 }
@@ -138,20 +137,20 @@
             Act::GoOn(fronts) => self.stop(&of(fronts), false),
             Act::Restart(fronts, after) => {
                 let which = of(fronts);
-                self.kill(&which).map_err(to_text)?;
+                self.kill(&which).map_err(ActionError::Io)?;
                 self.run(*after);
-                self.start(&which).map_err(to_text)?;
+                self.start(&which).map_err(ActionError::Io)?;
             }
             Act::Net { .. } | Act::Cut { .. } | Act::Heal | Act::Flood(..) => {
                 let act = act.clone();
                 self.network.change(move |net| {
-                    net.act(&act, n, DelayRange { min: 0, max: 0 });
+                    net.act(&act, size, DelayRange { min: 0, max: 0 });
                 });
             }
             Act::Runs(fronts, other) => {
                 of(fronts).into_iter().for_each(|i| self.others[i] = *other);
             }
-            Act::Power(power) => self.power(power).map_err(to_text)?,
+            Act::Power(power) => self.power(power).map_err(ActionError::Io)?,
             Act::Write(_) => {
                 let what = "no front writes on the board yet; play it with --virtual";
                 return Err(ActionError::Unsupported(what.to_owned()));
@@ -193,13 +192,15 @@
     fn sent(&self) -> Rate {
         let elapsed = nanoseconds(clock::now().duration_since(self.began)).max(1);
         let time = elapsed as f64 / NANOSECONDS_PER_SECOND as f64;
-        let rate = |i| {
-            let sent = self.network.sent(i);
+        let rate = |front| {
+            let sent = self.network.sent(front);
             (sent.datagrams as f64 / time, sent.bytes as f64 / time)
         };
         (0..self.processes.len())
             .map(rate)
-            .fold((0.0, 0.0), |a: Rate, b: Rate| (a.0.max(b.0), a.1.max(b.1)))
+            .fold((0.0, 0.0), |most: Rate, front: Rate| {
+                (most.0.max(front.0), most.1.max(front.1))
+            })
     }
 }
 
@@ -285,13 +286,13 @@
     }
 }
 
-/// Where players find a front again that was started anew.
+/// Finds the present address of a front that was restarted.
 fn finder(membership_poll: &MembershipPoll) -> Finder {
     let membership_poll = membership_poll.clone();
     Box::new(move |wanted| {
         let running = membership_poll.running();
-        let found = running.into_iter().find(|(front, _)| *front == wanted);
-        found.map(|(_, address)| address)
+        let found = running.into_iter().find(|front| front.number == wanted);
+        found.map(|front| front.address)
     })
 }
 
--- a/crates/testbed/src/membership_poll.rs
+++ b/crates/testbed/src/membership_poll.rs
@@ -1,4 +1,5 @@
 //! Polls what fronts report of each other at `GET /members`, the only source about members that a case uses.
+use crate::player::FrontAddress;
 use crate::udp_proxy::PeerNetwork;
 use crankpaddle_api::describe::{Members, OwnStanding, PeerState};
 use crankpaddle_fault_simulation::{front_number, MemberTransition};
@@ -119,13 +120,18 @@
         }
     }
 
-    /// The fronts that run, by number and address for players.
+    /// The fronts that run.
     #[must_use]
-    pub fn running(&self) -> Vec<(u32, SocketAddr)> {
+    pub fn running(&self) -> Vec<FrontAddress> {
         let state = self.lock();
         let views = state.views.iter().enumerate();
         views
-            .filter_map(|(front, view)| Some((front as u32, view.address?)))
+            .filter_map(|(number, view)| {
+                Some(FrontAddress {
+                    number: number as u32,
+                    address: view.address?,
+                })
+            })
             .collect()
     }
 
--- a/crates/testbed/src/player/attempt.rs
+++ b/crates/testbed/src/player/attempt.rs
@@ -1,5 +1,5 @@
 //! One attempt of a player to watch a title at a front.
-use super::{Client, PlayerPool, Visit};
+use super::{Client, FrontAddress, PlayerPool, Visit};
 use crate::record::{PlayerReply, Seen};
 use crankpaddle_net::{clock, sleep};
 use crankpaddle_server_protocol::sessions::bill;
@@ -8,7 +8,6 @@
 use crankpaddle_time::Time;
 use rand::rngs::StdRng;
 use rand::Rng;
-use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -35,9 +34,7 @@
     pub(super) visit: &'a Visit,
     /// The idempotency key.
     pub(super) key: String,
-    /// Number of the front.
-    pub(super) front: u32,
-    pub(super) address: SocketAddr,
+    pub(super) front: FrontAddress,
     /// The visit ends at this time at the latest.
     pub(super) until: Time,
     /// Whether the player has made an attempt before.
@@ -51,7 +48,7 @@
         Open {
             key: self.key.clone(),
             title: visit.title.clone(),
-            class: visit.class.1.clone(),
+            class: visit.class.name.clone(),
             viewer: Some(format!("v{:x}", visit.seed)),
             top: Some(visit.top),
             give_up_ms: Some(patience.as_millis() as u64),
@@ -63,7 +60,7 @@
 
 impl PlayerPool {
     pub(super) fn attempt(&self, attempt: &Attempt<'_>, rng: &mut StdRng) -> Outcome {
-        let Ok(mut client) = Client::connect(&attempt.address, &self.sweeper) else {
+        let Ok(mut client) = Client::connect(&attempt.front.address, &self.sweeper) else {
             self.failed_connects.fetch_add(1, Ordering::AcqRel);
             return if self.habits.keeps_key {
                 Outcome::FrontLost
@@ -97,9 +94,9 @@
         let call = self.next_call.fetch_add(1, Ordering::Relaxed);
         self.recorder.see(Seen::OpenSent {
             call,
-            front: attempt.front,
+            front: attempt.front.number,
             bill: bill(&attempt.key),
-            class: attempt.visit.class.0,
+            class: attempt.visit.class.number,
             deadline,
         });
         let open = attempt.open(deadline.duration_since(clock::now()));
@@ -122,7 +119,7 @@
             Some(PlayerReply::Plays) | None => self.recorder.see(Seen::Disconnected { call }),
             Some(_) => return Err(Outcome::DoesNotReturn),
         }
-        Client::connect(&attempt.address, &self.sweeper)
+        Client::connect(&attempt.front.address, &self.sweeper)
             .map_err(|_| Outcome::MayReturn { retry_after: None })
     }
 
@@ -184,11 +181,12 @@
         attempt: &Attempt<'_>,
     ) -> Outcome {
         let visit = attempt.visit;
-        self.losses().on_established(visit.seed, visit.class.0);
+        self.losses().on_established(visit.seed, visit.class.number);
         let left = attempt.until.duration_since(clock::now());
         let outcome = self.watch(client, session, media, visit.watch.min(left));
         if !matches!(outcome, Outcome::Watched) {
-            self.losses().on_disconnected(visit.seed, visit.class.0);
+            self.losses()
+                .on_disconnected(visit.seed, visit.class.number);
         }
         outcome
     }
--- a/crates/testbed/src/player/mod.rs
+++ b/crates/testbed/src/player/mod.rs
@@ -34,13 +34,31 @@
     /// Mean time until they return without a Retry-After.
     pub return_after: Duration,
     /// Part of them that follows a Retry-After.
-    pub honour: f64,
+    pub follows_retry_after: f64,
     /// Part that reconnects during an attempt.
     pub reconnect: f64,
     /// Whether a player that is disconnected by its front tries that front again with the same key as soon as it runs.
     pub keeps_key: bool,
 }
 
+/// A class of sessions.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VisitClass {
+    /// Its number.
+    pub number: u8,
+    /// Its name.
+    pub name: String,
+}
+
+/// A front that players may choose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FrontAddress {
+    /// The front's number.
+    pub number: u32,
+    /// Where it listens to players.
+    pub address: SocketAddr,
+}
+
 /// One player's session.
 #[derive(Clone, Debug)]
 pub struct Visit {
@@ -48,16 +66,16 @@
     pub seed: u64,
     /// Title by name.
     pub title: String,
-    /// Class by number and name.
-    pub class: (u8, String),
+    /// Its class.
+    pub class: VisitClass,
     /// Time to watch.
     pub watch: Duration,
     /// Time to wait for an answer.
     pub patience: Duration,
     /// Highest rung that the player can use.
     pub top: u8,
-    /// The fronts that the player chooses from, by number and address.
-    pub fronts: Vec<(u32, SocketAddr)>,
+    /// The fronts that the player chooses from.
+    pub fronts: Vec<FrontAddress>,
 }
 
 /// What all players share.
@@ -171,20 +189,19 @@
         rng: &mut StdRng,
     ) -> Outcome {
         let key = format!("{:016x}{:08x}", visit.seed, rng.random::<u32>());
-        let (front, address) = visit.fronts[rng.random_range(0..visit.fronts.len())];
+        let front = visit.fronts[rng.random_range(0..visit.fronts.len())];
         let mut attempt = Attempt {
             visit,
             key,
             front,
-            address,
             until,
             returning,
         };
         let mut outcome = self.attempt(&attempt, rng);
         while matches!(outcome, Outcome::FrontLost) && self.habits.keeps_key && self.stays(until) {
             sleep(Duration::from_millis(rng.random_range(20..200)));
-            if let Some(address) = (self.finder)(front) {
-                attempt.address = address;
+            if let Some(address) = (self.finder)(front.number) {
+                attempt.front.address = address;
                 attempt.returning = true;
                 outcome = self.attempt(&attempt, rng);
             }
@@ -196,7 +213,7 @@
     fn pause(&self, retry_after: Option<Duration>, rng: &mut StdRng) -> Duration {
         let mean = nanoseconds(self.habits.return_after) as f64;
         let own = Duration::from_nanos((mean * rng.random_range(0.7..1.3)) as u64);
-        let followed = retry_after.filter(|_| rng.random_bool(self.habits.honour));
+        let followed = retry_after.filter(|_| rng.random_bool(self.habits.follows_retry_after));
         followed.map_or(own, |advised| advised.max(own / 4))
     }
 }
--- a/crates/testbed/src/scenario_runner/arrivals.rs
+++ b/crates/testbed/src/scenario_runner/arrivals.rs
@@ -1,5 +1,5 @@
 //! Arrivals of players, drawn ahead of the run: an open load that never waits for answers.
-use crate::player::Visit;
+use crate::player::{Visit, VisitClass};
 use crate::script::{Day, Kind};
 use crankpaddle_config::Config;
 use crankpaddle_time::nanoseconds;
@@ -93,7 +93,10 @@
         Visit {
             seed,
             title: self.titles[title].clone(),
-            class: (class as u8, self.config.classes[class].clone()),
+            class: VisitClass {
+                number: class as u8,
+                name: self.config.classes[class].clone(),
+            },
             watch: Duration::from_nanos(watch).clamp(mean_watch / 10, mean_watch * 4),
             patience: Duration::from_nanos(self.config.terms.max_wait[class]),
             top: if small_screen { rungs / 2 } else { rungs - 1 },
--- a/crates/testbed/src/scenario_runner/mod.rs
+++ b/crates/testbed/src/scenario_runner/mod.rs
@@ -115,7 +115,7 @@
     Habits {
         returns: day.returns,
         return_after: day.return_after,
-        honour: day.honour,
+        follows_retry_after: day.follows_retry_after,
         reconnect: day.reconnect,
         keeps_key: false,
     }
--- a/crates/testbed/src/scenario_runner/timeline.rs
+++ b/crates/testbed/src/scenario_runner/timeline.rs
@@ -1,7 +1,7 @@
 //! The run of a day: its faults and arrivals in the order of their times, then the wait for its end.
 use super::front::Front;
 use super::{arrivals, habits, Arrival, Play};
-use crate::player::PlayerPool;
+use crate::player::{FrontAddress, PlayerPool};
 use crate::script::{Day, Fault};
 use crate::stage::Stage;
 use crate::wind_down::{wait_for_players, wait_for_streams};
@@ -9,7 +9,6 @@
 use crankpaddle_time::Time;
 use std::io;
 use std::iter::Peekable;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::vec::IntoIter;
@@ -26,15 +25,12 @@
     fault: &'a Fault,
 }
 
-/// Fronts that a player may choose from, by number.
-type FrontAddresses = Vec<(u32, SocketAddr)>;
-
 struct Timeline<'a> {
     day: &'a Day,
     stage: &'a Stage,
     fronts: &'a [Front],
     players: Arc<PlayerPool>,
-    fronts_by_zone: Vec<FrontAddresses>,
+    fronts_by_zone: Vec<Vec<FrontAddress>>,
     transitions: Peekable<IntoIter<Transition<'a>>>,
     arrivals: Peekable<IntoIter<Arrival>>,
     /// When the day started.
@@ -94,12 +90,15 @@
 }
 
 /// The fronts of a zone; all fronts where it has none.
-fn fronts_for_zone(fronts: &[Front], zone: usize) -> FrontAddresses {
-    let addresses_where = |accepts: &dyn Fn(&Front) -> bool| -> FrontAddresses {
+fn fronts_for_zone(fronts: &[Front], zone: usize) -> Vec<FrontAddress> {
+    let addresses_where = |accepts: &dyn Fn(&Front) -> bool| -> Vec<FrontAddress> {
         let numbered = fronts.iter().enumerate();
         numbered
             .filter(|(_, front)| accepts(front))
-            .map(|(number, front)| (number as u32, front.process.address))
+            .map(|(number, front)| FrontAddress {
+                number: number as u32,
+                address: front.process.address,
+            })
             .collect()
     };
     let own = addresses_where(&|front| front.zone == zone);
--- a/crates/testbed/src/script/check.rs
+++ b/crates/testbed/src/script/check.rs
@@ -141,7 +141,7 @@
         zipf: checks.within("traffic.zipf", traffic.zipf, 0.0, 5.0),
         returns: checks.within("traffic.returns", traffic.returns, 0.0, 1.0),
         return_after: duration(checks, "traffic.back_after", &traffic.back_after),
-        honour: checks.within("traffic.honour", traffic.honour, 0.0, 1.0),
+        follows_retry_after: checks.within("traffic.honour", traffic.honour, 0.0, 1.0),
         reconnect: checks.within("traffic.reconnect", traffic.reconnect, 0.0, 1.0),
         faults,
         list_delay: duration(checks, "list_delay", &raw.list_delay),
--- a/crates/testbed/src/script/mod.rs
+++ b/crates/testbed/src/script/mod.rs
@@ -122,7 +122,7 @@
     /// Mean time until they return without a Retry-After.
     pub return_after: Duration,
     /// Part of them that follows a Retry-After.
-    pub honour: f64,
+    pub follows_retry_after: f64,
     /// Part of the players that reconnect during an attempt.
     pub reconnect: f64,
     /// Its faults.
