--- a/crates/testbed/src/crossing/tests.rs
+++ b/crates/testbed/src/crossing/tests.rs
@@ -2,7 +2,7 @@
 use crate::script::{fleet_config, FLEET};
 
 #[test]
-fn rungs_times_and_bytes_make_rates_worth_and_flows() {
+fn rates_utility_and_flows_follow_from_rungs_times_and_bytes() {
     let config = fleet_config(FLEET).unwrap();
     let at = |second: u64, seen| Record {
         at: start_of(second),
--- a/crates/testbed/src/import/tests.rs
+++ b/crates/testbed/src/import/tests.rs
@@ -2,7 +2,7 @@
 use crate::script;
 
 /// A small day in the form of the bench's files, written for this test.
-fn sample(troubles: &str) -> String {
+fn sample(faults: &str) -> String {
     format!(
         r#"{{"site":"sample","kind":"trouble","length":20000000,"zones":["n","s"],"traffic":{{"load":0.5}},
             "clients":{{"honour":0.5,"max_retry_after":1000000}},"discovery":{{"notice":900000}},
@@ -14,11 +14,11 @@
             "fam":{{"capacity":4,"cells":6,"core_kb":2000,"core_slots":8,"life_s":20,"racks":2,"rates":[200,500,1500],"worth":[0.2,0.6,1],
             "uplink_kb":[30000,20000],"uses":[{{"floor":0,"top":9,"scale":1.4,"seats":0,"live":false}},{{"floor":1,"top":9,"scale":1,"seats":3,"live":false}}],
             "stall":8,"switch_s":0.5,"see":1000000,"tell":3000000,"title_zipf":0.8,"titles":9,"copies":1.3,"returns":0.9,"rejoin_us":2000000,"guard":0,"join":1}},
-            "troubles":[{troubles}]}}"#
+            "troubles":[{faults}]}}"#
     )
 }
 
-fn trouble(kind: &str, size: f64, extra: f64) -> String {
+fn fault(kind: &str, size: f64, extra: f64) -> String {
     format!(
         r#"{{"kind":"{kind}","at":2000000,"len":6000000,"size":{size},"extra":{extra},"on":[1,5],"which":1,"steps":[{{"at":3000000,"stop":[2,9]}}]}}"#
     )
@@ -39,7 +39,7 @@
 }
 
 #[test]
-fn every_trouble_that_has_a_like_becomes_a_fault() {
+fn every_fault_that_scripts_have_is_imported() {
     use script::Kind;
     use std::time::Duration;
     for (kind, size, extra, want) in [
@@ -60,11 +60,11 @@
         ("deploy", 0.1, 4.0, Kind::Drain),
         ("balancer_stall", 1500.0, 3.0, Kind::Stall(vec![1, 2])),
     ] {
-        let (imported, day) = read(&sample(&trouble(kind, size, extra)));
+        let (imported, day) = read(&sample(&fault(kind, size, extra)));
         assert!(imported.left_out.is_empty(), "{kind}");
         assert_eq!(day.faults[0].kind, want, "{kind}");
     }
-    let (imported, day) = read(&sample(&trouble("tenant_burst", 2.0, 1.0)));
+    let (imported, day) = read(&sample(&fault("tenant_burst", 2.0, 1.0)));
     assert_eq!(
         (imported.left_out, day.faults.len()),
         (vec!["tenant_burst".to_owned()], 0)
--- a/crates/testbed/src/script/tests.rs
+++ b/crates/testbed/src/script/tests.rs
@@ -7,7 +7,7 @@
 }
 
 #[test]
-fn the_built_in_days_are_well_formed() {
+fn the_built_in_days_are_valid() {
     for (name, text) in DAYS {
         let day = read(text).unwrap_or_else(|p| panic!("{name}: {p:?}"));
         assert_eq!(day.name, name);
@@ -15,9 +15,9 @@
 }
 
 #[test]
-fn what_is_wrong_is_said_with_its_place() {
+fn each_problem_is_reported_with_its_line() {
     let (_, good) = DAYS[1];
-    for (from, to, said) in [
+    for (from, to, reported) in [
         (
             "servers {",
             "servers {\n  colour: 1",
@@ -39,7 +39,9 @@
         assert!(good.contains(from), "{from}");
         let problems = read(&good.replacen(from, to, 1)).unwrap_err();
         assert!(
-            problems.iter().any(|p| p.what.contains(said) && p.line > 1),
+            problems
+                .iter()
+                .any(|p| p.what.contains(reported) && p.line > 1),
             "{from}: {problems:?}"
         );
     }
