--- a/crates/cli/src/testbed/cross_zone_summary.rs
+++ b/crates/cli/src/testbed/cross_zone_summary.rs
@@ -1,6 +1,7 @@
 //! Cross-zone traffic of a played scenario against its budgets.
 use crankpaddle_testbed::scenario_runner::Outcome;
 use crankpaddle_testbed::script::{Day, Kind};
+use std::time::Duration;
 
 /// Seconds over which a rate of cross-zone traffic is a mean.
 const RATE_WINDOW_SECONDS: u64 = 3;
@@ -18,11 +19,12 @@
 
 fn print_peak(day: &Day, outcome: &Outcome) {
     let end = outcome.start + day.length;
-    let (all_kb, unbudgeted_kb) = outcome
+    let peak = outcome
         .crossed
         .peak(outcome.start, end, RATE_WINDOW_SECONDS);
     eprintln!(
-        "crossing: at most {all_kb:.0} kB/s over {RATE_WINDOW_SECONDS} s, {unbudgeted_kb:.0} of it not paid for"
+        "crossing: at most {:.0} kB/s over {RATE_WINDOW_SECONDS} s, {:.0} of it not paid for",
+        peak.all, peak.unpaid
     );
 }
 
@@ -62,8 +64,8 @@
     eprintln!("crossing is back under {budget_kb:.0} kB/s {when} the hall came back");
 }
 
-/// When the last crash ends, nanoseconds from the scenario's start.
-fn last_crash_end(day: &Day) -> Option<u64> {
+/// When the last crash ends, from the scenario's start.
+fn last_crash_end(day: &Day) -> Option<Duration> {
     day.faults
         .iter()
         .filter(|fault| fault.kind == Kind::Crash)
--- a/crates/cli/src/testbed/players.rs
+++ b/crates/cli/src/testbed/players.rs
@@ -5,9 +5,9 @@
 use crankpaddle_config::Config;
 use crankpaddle_net::{clock, spawn, Stack};
 use crankpaddle_testbed::invariant_checker::Verdict;
-use crankpaddle_testbed::player::PlayerPool;
+use crankpaddle_testbed::player::{FrontAddress, PlayerPool};
 use crankpaddle_testbed::record::Recorder;
-use crankpaddle_testbed::scenario_runner;
+use crankpaddle_testbed::scenario_runner::{self, Arrival};
 use crankpaddle_testbed::script::Day;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -37,7 +37,7 @@
     let habits = scenario_runner::habits(&day);
     let players = Arc::new(PlayerPool::new(recorder.clone(), habits));
     play_arrivals(front, &day, &config, seed, &players);
-    while players.there() > 0 {
+    while players.present_count() > 0 {
         std::thread::sleep(POLL_INTERVAL);
     }
     let verdict = check_records(&config, &recorder.all());
@@ -54,13 +54,15 @@
     seed: u64,
     players: &Arc<PlayerPool>,
 ) {
-    let start = clock::now().as_nanos();
+    let start = clock::now();
     let end = start + day.length;
-    for (offset, mut visit) in scenario_runner::arrivals(day, config, seed) {
-        let wait = (start + offset).saturating_sub(clock::now().as_nanos());
-        std::thread::sleep(Duration::from_nanos(wait));
-        visit.fronts = vec![(0, front)];
-        visit.watch = visit.watch.min(day.length - offset);
+    for Arrival { at, mut visit } in scenario_runner::arrivals(day, config, seed) {
+        std::thread::sleep((start + at).duration_since(clock::now()));
+        visit.fronts = vec![FrontAddress {
+            number: 0,
+            address: front,
+        }];
+        visit.watch = visit.watch.min(day.length - at);
         let players = players.clone();
         spawn(Stack::Usual, move || players.visit(&visit, end));
     }
@@ -76,5 +78,5 @@
         "calls {}, answered once {}: played {}, refused {}, failed {}",
         verdict.sessions, verdict.answered_once, verdict.played, verdict.refused, verdict.failed
     );
-    println!("tries that found no front: {}", players.found_no_front());
+    println!("tries that found no front: {}", players.failed_connects());
 }
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -13,35 +13,32 @@
 use crate::host_faults::Hosts;
 pub use crate::host_faults::Memory;
 use crate::invariant_checker::{judge, Rules, Verdict};
-use crate::list_service::ListService;
-use crate::membership_poll::Views;
+use crate::membership_poll::MembershipPoll;
 use crate::player::{Finder, Habits, PlayerPool};
 use crate::process::Process;
 use crate::record::{Record, Recorder, Seen};
-use crate::scenario_runner::{
-    config_of, habits, layout, start_list, DRAIN_GRACE, TIMING_TOLERANCE,
-};
+use crate::scenario_runner::{habits, DRAIN_GRACE, TIMING_TOLERANCE};
 use crate::script::Day;
-use crate::server::Fleet;
-use crate::udp_proxy::{write_key, Mesh};
+use crate::stage::Stage;
+use crate::udp_proxy::{write_key, PeerNetwork};
 use crate::wind_down::{wait_for_players, wait_for_streams};
 use arrivals::Arrivals;
 pub use cost::Cost;
-use crankpaddle_config::Config;
 use crankpaddle_fault_simulation::{
     play, Act, ActionError, Case, CaseResult, Cluster, DelayRange, Entry, Fronts, MemberTransition,
     Rate, RecoveryProgress,
 };
 use crankpaddle_membership::{LocalHealth, MemberState};
 use crankpaddle_net::clock;
+use crankpaddle_time::{nanoseconds, Time};
 use std::io;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
-const SECOND: u64 = 1_000_000_000;
+const NANOSECONDS_PER_SECOND: u64 = 1_000_000_000;
 /// After the case the players have this long to leave.
-const PLAYERS_LEAVE_WITHIN: u64 = 40 * SECOND;
+const PLAYERS_LEAVE_WITHIN: Duration = Duration::from_secs(40);
 
 /// How a case is played.
 #[derive(Clone, Debug)]
@@ -90,32 +87,6 @@
     }
 }
 
-/// The stand-ins of a case.
-struct Stage {
-    config: Arc<Config>,
-    fleet: Arc<Fleet>,
-    list: Arc<ListService>,
-    recorder: Recorder,
-    /// Text of the fronts' configuration, without the blocks of each front.
-    text: String,
-}
-
-impl Stage {
-    fn start(day: &Day, seed: u64) -> io::Result<Stage> {
-        let config = config_of(day)?;
-        let recorder = Recorder::default();
-        let fleet = Fleet::start(config.clone(), &layout(day, seed), recorder.clone())?;
-        let list = start_list(&fleet, day.list_delay)?;
-        Ok(Stage {
-            config,
-            fleet,
-            list,
-            recorder,
-            text: day.fleet.clone(),
-        })
-    }
-}
-
 /// The fleet of processes. Fronts are numbered from 0.
 struct Harness<'a> {
     plan: &'a Plan,
@@ -124,14 +95,14 @@
     seeds: Vec<usize>,
     /// The key of the fleet; `None` where the fronts don't know of each other.
     key: Option<PathBuf>,
-    mesh: Mesh,
-    views: Views,
+    network: PeerNetwork,
+    membership_poll: MembershipPoll,
     /// `None` where a front does not run.
     processes: Vec<Option<Process>>,
     stopped: Vec<bool>,
     /// Fronts that run the other build from their next start on.
     others: Vec<bool>,
-    began: u64,
+    began: Time,
     /// The hosts, where the case has power losses.
     hosts: Option<Hosts>,
     players: Arc<PlayerPool>,
@@ -151,14 +122,13 @@
     }
 
     fn act(&mut self, act: &Act) -> Result<(), ActionError> {
-        let n = self.processes.len();
-        let of = |fronts: &Fronts| fronts.of(n);
-        let to_text = ActionError::Io;
+        let size = self.processes.len();
+        let of = |fronts: &Fronts| fronts.of(size);
         match act {
-            Act::Start(fronts) => self.start(&of(fronts)).map_err(to_text)?,
-            Act::Kill(fronts) => self.kill(&of(fronts)).map_err(to_text)?,
+            Act::Start(fronts) => self.start(&of(fronts)).map_err(ActionError::Io)?,
+            Act::Kill(fronts) => self.kill(&of(fronts)).map_err(ActionError::Io)?,
             Act::End(fronts) => {
-                let faults = self.end(&of(fronts)).map_err(to_text)?;
+                let faults = self.end(&of(fronts)).map_err(ActionError::Io)?;
                 if !faults.is_empty() {
                     return Err(ActionError::Faults(faults));
                 }
@@ -167,20 +137,20 @@
             Act::GoOn(fronts) => self.stop(&of(fronts), false),
             Act::Restart(fronts, after) => {
                 let which = of(fronts);
-                self.kill(&which).map_err(to_text)?;
+                self.kill(&which).map_err(ActionError::Io)?;
                 self.run(*after);
-                self.start(&which).map_err(to_text)?;
+                self.start(&which).map_err(ActionError::Io)?;
             }
             Act::Net { .. } | Act::Cut { .. } | Act::Heal | Act::Flood(..) => {
                 let act = act.clone();
-                self.mesh.change(move |net| {
-                    net.act(&act, n, DelayRange { min: 0, max: 0 });
+                self.network.change(move |net| {
+                    net.act(&act, size, DelayRange { min: 0, max: 0 });
                 });
             }
             Act::Runs(fronts, other) => {
                 of(fronts).into_iter().for_each(|i| self.others[i] = *other);
             }
-            Act::Power(power) => self.power(power).map_err(to_text)?,
+            Act::Power(power) => self.power(power).map_err(ActionError::Io)?,
             Act::Write(_) => {
                 let what = "no front writes on the board yet; play it with --virtual";
                 return Err(ActionError::Unsupported(what.to_owned()));
@@ -190,15 +160,15 @@
     }
 
     fn state(&self, at: usize, of: usize) -> Option<MemberState> {
-        self.views.state(at, of)
+        self.membership_poll.state(at, of)
     }
 
     fn local_health(&self, at: usize) -> Option<LocalHealth> {
-        self.views.local_health(at)
+        self.membership_poll.local_health(at)
     }
 
     fn transitions(&self, from: u64) -> Vec<MemberTransition> {
-        self.views.state_changes(from)
+        self.membership_poll.state_changes(from)
     }
 
     fn entry(&self, _: usize) -> Option<Entry> {
@@ -207,11 +177,11 @@
 
     fn recovery_progress(&self, paid: bool) -> Option<RecoveryProgress> {
         self.hosts.as_ref()?;
-        let (restored, left, lost) = self.lost(paid);
+        let counts = self.lost(paid);
         Some(RecoveryProgress {
-            restored,
-            left,
-            lost,
+            restored: counts.restored,
+            left: counts.left,
+            lost: counts.lost,
         })
     }
 
@@ -220,14 +190,17 @@
     }
 
     fn sent(&self) -> Rate {
-        let time = (clock::now().as_nanos() - self.began).max(1) as f64 / SECOND as f64;
-        let rate = |i| {
-            let sent = self.mesh.sent(i);
-            (sent.0 as f64 / time, sent.1 as f64 / time)
+        let elapsed = nanoseconds(clock::now().duration_since(self.began)).max(1);
+        let time = elapsed as f64 / NANOSECONDS_PER_SECOND as f64;
+        let rate = |front| {
+            let sent = self.network.sent(front);
+            (sent.datagrams as f64 / time, sent.bytes as f64 / time)
         };
         (0..self.processes.len())
             .map(rate)
-            .fold((0.0, 0.0), |a: Rate, b: Rate| (a.0.max(b.0), a.1.max(b.1)))
+            .fold((0.0, 0.0), |most: Rate, front: Rate| {
+                (most.0.max(front.0), most.1.max(front.1))
+            })
     }
 }
 
@@ -241,22 +214,22 @@
     let stage = Stage::start(day, plan.seed)?;
     let mut harness = Harness::new(case, day, plan, &stage)?;
     harness.start(&case.first.of(harness.processes.len()))?;
-    let (players, views) = (harness.players.clone(), harness.views.clone());
-    let arrivals = Arrivals::start(day, &stage.config, plan.seed, &players, &views);
+    let (players, membership_poll) = (harness.players.clone(), harness.membership_poll.clone());
+    let arrivals = Arrivals::start(day, &stage.config, plan.seed, &players, &membership_poll);
     let played = play(case, &mut harness).map_err(io::Error::other);
     let mut faults = Vec::new();
     faults.extend(arrivals.stop());
     let all: Vec<usize> = (0..harness.processes.len()).collect();
     harness.stop(&all, false);
     players.leave();
-    let deadline = clock::now().as_nanos() + PLAYERS_LEAVE_WITHIN;
+    let deadline = clock::now() + PLAYERS_LEAVE_WITHIN;
     faults.extend(wait_for_players(&players, deadline));
     // Why: nobody ends the sessions of a front that was killed.
     if !any_front_died(&stage.recorder) {
         faults.extend(wait_for_streams(&stage.fleet));
     }
-    faults.extend(views.missed());
-    views.end();
+    faults.extend(membership_poll.missed());
+    membership_poll.end();
     faults.extend(harness.end(&all)?);
     drop(harness);
     let records = stage.recorder.all();
@@ -278,18 +251,19 @@
     /// The network, players and hosts of a case; no front runs yet.
     fn new(case: &Case, day: &Day, plan: &'a Plan, stage: &'a Stage) -> io::Result<Harness<'a>> {
         let fronts = plan.fronts as usize;
-        let mesh = Mesh::start(fronts, plan.seed)?;
+        let network = PeerNetwork::start(fronts, plan.seed)?;
         let hosts = if case.needs_disks() {
             Some(Hosts::new(&plan.dir, plan.memory, plan.seed, fronts)?)
         } else {
             None
         };
-        let views = Views::start(fronts, &mesh);
+        let membership_poll = MembershipPoll::start(fronts, &network);
         let habits = Habits {
             keeps_key: hosts.is_some(),
             ..habits(day)
         };
-        let players = PlayerPool::new(stage.recorder.clone(), habits).finding(finder(&views));
+        let players =
+            PlayerPool::new(stage.recorder.clone(), habits).with_finder(finder(&membership_poll));
         let key = if plan.peers {
             Some(write_key(&plan.dir)?)
         } else {
@@ -300,25 +274,25 @@
             stage,
             seeds: case.seeds.of(fronts),
             key,
-            mesh,
-            views,
+            network,
+            membership_poll,
             processes: (0..fronts).map(|_| None).collect(),
             stopped: vec![false; fronts],
             others: vec![false; fronts],
-            began: clock::now().as_nanos(),
+            began: clock::now(),
             hosts,
             players: Arc::new(players),
         })
     }
 }
 
-/// Where players find a front again that was started anew.
-fn finder(views: &Views) -> Finder {
-    let views = views.clone();
+/// Finds the present address of a front that was restarted.
+fn finder(membership_poll: &MembershipPoll) -> Finder {
+    let membership_poll = membership_poll.clone();
     Box::new(move |wanted| {
-        let running = views.running();
-        let found = running.into_iter().find(|(front, _)| *front == wanted);
-        found.map(|(_, address)| address)
+        let running = membership_poll.running();
+        let found = running.into_iter().find(|front| front.number == wanted);
+        found.map(|front| front.address)
     })
 }
 
--- a/crates/testbed/src/player/attempt.rs
+++ b/crates/testbed/src/player/attempt.rs
@@ -1,18 +1,18 @@
 //! One attempt of a player to watch a title at a front.
-use super::{Client, PlayerPool, Visit, MILLISECOND, SECOND};
+use super::{Client, FrontAddress, PlayerPool, Visit};
 use crate::record::{PlayerReply, Seen};
 use crankpaddle_net::{clock, sleep};
 use crankpaddle_server_protocol::sessions::bill;
 use crankpaddle_session_api::client::{self, ClientEvent};
 use crankpaddle_session_api::methods::Open;
+use crankpaddle_time::Time;
 use rand::rngs::StdRng;
 use rand::Rng;
-use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// After its deadline a player still listens for this long, so that a late answer is recorded.
-const LATE_ANSWER_WINDOW: u64 = SECOND;
+const LATE_ANSWER_WINDOW: Duration = Duration::from_secs(1);
 
 /// How an attempt ended.
 pub(super) enum Outcome {
@@ -20,8 +20,8 @@
     Watched,
     /// Rejected, failed in a way that allows another attempt, or disconnected.
     MayReturn {
-        /// The front's Retry-After, nanoseconds.
-        retry_after: Option<u64>,
+        /// The front's Retry-After.
+        retry_after: Option<Duration>,
     },
     /// The player does not return.
     DoesNotReturn,
@@ -34,26 +34,24 @@
     pub(super) visit: &'a Visit,
     /// The idempotency key.
     pub(super) key: String,
-    /// Number of the front.
-    pub(super) front: u32,
-    pub(super) address: SocketAddr,
+    pub(super) front: FrontAddress,
     /// The visit ends at this time at the latest.
-    pub(super) until: u64,
+    pub(super) until: Time,
     /// Whether the player has made an attempt before.
     pub(super) returning: bool,
 }
 
 impl Attempt<'_> {
     /// The open request, with the time that is left of the player's patience.
-    fn open(&self, patience: u64) -> Open {
+    fn open(&self, patience: Duration) -> Open {
         let visit = self.visit;
         Open {
             key: self.key.clone(),
             title: visit.title.clone(),
-            class: visit.class.1.clone(),
+            class: visit.class.name.clone(),
             viewer: Some(format!("v{:x}", visit.seed)),
             top: Some(visit.top),
-            give_up_ms: Some(patience / MILLISECOND),
+            give_up_ms: Some(patience.as_millis() as u64),
             again: self.returning,
             ..Open::default()
         }
@@ -62,7 +60,7 @@
 
 impl PlayerPool {
     pub(super) fn attempt(&self, attempt: &Attempt<'_>, rng: &mut StdRng) -> Outcome {
-        let Ok(mut client) = Client::connect(&attempt.address, &self.sweeper) else {
+        let Ok(mut client) = Client::connect(&attempt.front.address, &self.sweeper) else {
             self.failed_connects.fetch_add(1, Ordering::AcqRel);
             return if self.habits.keeps_key {
                 Outcome::FrontLost
@@ -70,10 +68,10 @@
                 Outcome::MayReturn { retry_after: None }
             };
         };
-        let deadline = clock::now().as_nanos() + attempt.visit.patience;
+        let deadline = clock::now() + attempt.visit.patience;
         let mut call = self.send_open(&mut client, attempt, deadline);
         if rng.random_bool(self.habits.reconnect) {
-            sleep(Duration::from_nanos(rng.random_range(1..150) * MILLISECOND));
+            sleep(Duration::from_millis(rng.random_range(1..150)));
             client = match self.reconnect(client, call, attempt) {
                 Ok(fresh) => fresh,
                 Err(outcome) => return outcome,
@@ -81,7 +79,7 @@
             call = self.send_open(&mut client, attempt, deadline);
         }
         let answer = self.wait_for_answer(&mut client, call, deadline);
-        let disconnected = clock::now().as_nanos() < deadline + LATE_ANSWER_WINDOW;
+        let disconnected = clock::now() < deadline + LATE_ANSWER_WINDOW;
         match answer {
             Some(event) => self.on_answer(event, client, attempt),
             None if self.habits.keeps_key && disconnected => {
@@ -92,16 +90,16 @@
         }
     }
 
-    fn send_open(&self, client: &mut Client, attempt: &Attempt<'_>, deadline: u64) -> u64 {
+    fn send_open(&self, client: &mut Client, attempt: &Attempt<'_>, deadline: Time) -> u64 {
         let call = self.next_call.fetch_add(1, Ordering::Relaxed);
         self.recorder.see(Seen::OpenSent {
             call,
-            front: attempt.front,
+            front: attempt.front.number,
             bill: bill(&attempt.key),
-            class: attempt.visit.class.0,
+            class: attempt.visit.class.number,
             deadline,
         });
-        let open = attempt.open(deadline.saturating_sub(clock::now().as_nanos()));
+        let open = attempt.open(deadline.duration_since(clock::now()));
         let _ = client.send(client::open(call, &open)); // Its failure shows when the answer is read.
         call
     }
@@ -121,7 +119,7 @@
             Some(PlayerReply::Plays) | None => self.recorder.see(Seen::Disconnected { call }),
             Some(_) => return Err(Outcome::DoesNotReturn),
         }
-        Client::connect(&attempt.address, &self.sweeper)
+        Client::connect(&attempt.front.address, &self.sweeper)
             .map_err(|_| Outcome::MayReturn { retry_after: None })
     }
 
@@ -142,7 +140,7 @@
         &self,
         client: &mut Client,
         call: u64,
-        deadline: u64,
+        deadline: Time,
     ) -> Option<ClientEvent> {
         while let Ok(event) = client.next(deadline + LATE_ANSWER_WINDOW) {
             if let Some(reply) = reply_of(&event, call) {
@@ -165,7 +163,7 @@
             }
             ClientEvent::Refused { retry_after_ms, .. } => {
                 client.close();
-                let retry_after = retry_after_ms.map(|ms| ms * MILLISECOND);
+                let retry_after = retry_after_ms.map(Duration::from_millis);
                 Outcome::MayReturn { retry_after }
             }
             _ => {
@@ -183,11 +181,12 @@
         attempt: &Attempt<'_>,
     ) -> Outcome {
         let visit = attempt.visit;
-        self.losses().watches(visit.seed, visit.class.0);
-        let left = attempt.until.saturating_sub(clock::now().as_nanos());
+        self.losses().on_established(visit.seed, visit.class.number);
+        let left = attempt.until.duration_since(clock::now());
         let outcome = self.watch(client, session, media, visit.watch.min(left));
         if !matches!(outcome, Outcome::Watched) {
-            self.losses().is_cut_off(visit.seed, visit.class.0);
+            self.losses()
+                .on_disconnected(visit.seed, visit.class.number);
         }
         outcome
     }
--- a/crates/testbed/src/player/mod.rs
+++ b/crates/testbed/src/player/mod.rs
@@ -7,11 +7,13 @@
 mod client;
 mod watch;
 
+pub use crate::loss_analysis::LossCounts;
 use crate::loss_analysis::Losses;
 use crate::record::Recorder;
 use attempt::{Attempt, Outcome};
 pub use client::Client;
 use crankpaddle_net::{clock, sleep, IdleSweeper};
+use crankpaddle_time::{nanoseconds, Time};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::net::SocketAddr;
@@ -19,8 +21,6 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-const MILLISECOND: u64 = 1_000_000;
-const SECOND: u64 = 1000 * MILLISECOND;
 /// Time to connect and do the handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Interval at which idle connections are looked for.
@@ -31,16 +31,34 @@
 pub struct Habits {
     /// Part that returns after a rejection or a failure.
     pub returns: f64,
-    /// Mean time until they return without a Retry-After, nanoseconds.
-    pub return_after: u64,
+    /// Mean time until they return without a Retry-After.
+    pub return_after: Duration,
     /// Part of them that follows a Retry-After.
-    pub honour: f64,
+    pub follows_retry_after: f64,
     /// Part that reconnects during an attempt.
     pub reconnect: f64,
     /// Whether a player that is disconnected by its front tries that front again with the same key as soon as it runs.
     pub keeps_key: bool,
 }
 
+/// A class of sessions.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VisitClass {
+    /// Its number.
+    pub number: u8,
+    /// Its name.
+    pub name: String,
+}
+
+/// A front that players may choose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FrontAddress {
+    /// The front's number.
+    pub number: u32,
+    /// Where it listens to players.
+    pub address: SocketAddr,
+}
+
 /// One player's session.
 #[derive(Clone, Debug)]
 pub struct Visit {
@@ -48,16 +66,16 @@
     pub seed: u64,
     /// Title by name.
     pub title: String,
-    /// Class by number and name.
-    pub class: (u8, String),
-    /// Time to watch, nanoseconds.
-    pub watch: u64,
-    /// Time to wait for an answer, nanoseconds.
-    pub patience: u64,
+    /// Its class.
+    pub class: VisitClass,
+    /// Time to watch.
+    pub watch: Duration,
+    /// Time to wait for an answer.
+    pub patience: Duration,
     /// Highest rung that the player can use.
     pub top: u8,
-    /// The fronts that the player chooses from, by number and address.
-    pub fronts: Vec<(u32, SocketAddr)>,
+    /// The fronts that the player chooses from.
+    pub fronts: Vec<FrontAddress>,
 }
 
 /// What all players share.
@@ -96,7 +114,7 @@
 
     /// The same pool, whose players look here for a front that disconnected them.
     #[must_use]
-    pub fn finding(self, finder: Finder) -> PlayerPool {
+    pub fn with_finder(self, finder: Finder) -> PlayerPool {
         PlayerPool { finder, ..self }
     }
 
@@ -105,18 +123,17 @@
         self.leaving.store(true, Ordering::Release);
     }
 
-    fn stays(&self, until: u64) -> bool {
-        clock::now().as_nanos() < until && !self.leaving.load(Ordering::Acquire)
+    fn stays(&self, until: Time) -> bool {
+        clock::now() < until && !self.leaving.load(Ordering::Acquire)
     }
 
-    /// Marks the power loss: a player that is cut off from now on has lost its session to it.
-    pub fn power_went(&self) {
-        self.losses().power_went();
+    /// Marks the power loss: a player that is disconnected from now on has lost its session to it.
+    pub fn on_power_loss(&self) {
+        self.losses().on_power_loss();
     }
 
-    /// Of the players in such a class that lost their session to the power loss: how many watch again, how many left
-    /// without, and how many there are.
-    pub fn lost(&self, of: impl Fn(u8) -> bool) -> (u64, u64, u64) {
+    /// Counts the players that lost their session to the power loss, of the classes that `of` accepts.
+    pub fn lost(&self, of: impl Fn(u8) -> bool) -> LossCounts {
         self.losses().count(of)
     }
 
@@ -125,12 +142,12 @@
     }
 
     /// Number of players that are present.
-    pub fn there(&self) -> u64 {
+    pub fn present_count(&self) -> u64 {
         self.present.load(Ordering::Acquire)
     }
 
     /// Number of attempts that could not connect to a front.
-    pub fn found_no_front(&self) -> u64 {
+    pub fn failed_connects(&self) -> u64 {
         self.failed_connects.load(Ordering::Acquire)
     }
 
@@ -143,10 +160,10 @@
     ///
     /// # Panics
     /// The visit has no fronts.
-    pub fn visit(&self, visit: &Visit, until: u64) {
+    pub fn visit(&self, visit: &Visit, until: Time) {
         self.present.fetch_add(1, Ordering::AcqRel);
         let mut rng = StdRng::seed_from_u64(visit.seed);
-        let until = until.min(clock::now().as_nanos() + visit.watch + visit.patience);
+        let until = until.min(clock::now() + visit.watch + visit.patience);
         let mut returning = false;
         while self.stays(until) {
             let retry_after = match self.attempt_until_answered(visit, until, returning, &mut rng) {
@@ -159,7 +176,7 @@
             sleep(self.pause(retry_after, &mut rng));
             returning = true;
         }
-        self.losses().leaves(visit.seed);
+        self.losses().on_left(visit.seed);
         self.present.fetch_sub(1, Ordering::AcqRel);
     }
 
@@ -167,27 +184,24 @@
     fn attempt_until_answered(
         &self,
         visit: &Visit,
-        until: u64,
+        until: Time,
         returning: bool,
         rng: &mut StdRng,
     ) -> Outcome {
         let key = format!("{:016x}{:08x}", visit.seed, rng.random::<u32>());
-        let (front, address) = visit.fronts[rng.random_range(0..visit.fronts.len())];
+        let front = visit.fronts[rng.random_range(0..visit.fronts.len())];
         let mut attempt = Attempt {
             visit,
             key,
             front,
-            address,
             until,
             returning,
         };
         let mut outcome = self.attempt(&attempt, rng);
         while matches!(outcome, Outcome::FrontLost) && self.habits.keeps_key && self.stays(until) {
-            sleep(Duration::from_nanos(
-                rng.random_range(20..200) * MILLISECOND,
-            ));
-            if let Some(address) = (self.finder)(front) {
-                attempt.address = address;
+            sleep(Duration::from_millis(rng.random_range(20..200)));
+            if let Some(address) = (self.finder)(front.number) {
+                attempt.front.address = address;
                 attempt.returning = true;
                 outcome = self.attempt(&attempt, rng);
             }
@@ -196,9 +210,10 @@
     }
 
     /// The pause before a player returns.
-    fn pause(&self, retry_after: Option<u64>, rng: &mut StdRng) -> Duration {
-        let own = (self.habits.return_after as f64 * rng.random_range(0.7..1.3)) as u64;
-        let followed = retry_after.filter(|_| rng.random_bool(self.habits.honour));
-        Duration::from_nanos(followed.map_or(own, |advised| advised.max(own / 4)))
+    fn pause(&self, retry_after: Option<Duration>, rng: &mut StdRng) -> Duration {
+        let mean = nanoseconds(self.habits.return_after) as f64;
+        let own = Duration::from_nanos((mean * rng.random_range(0.7..1.3)) as u64);
+        let followed = retry_after.filter(|_| rng.random_bool(self.habits.follows_retry_after));
+        followed.map_or(own, |advised| advised.max(own / 4))
     }
 }
--- a/crates/testbed/src/scenario_runner/mod.rs
+++ b/crates/testbed/src/scenario_runner/mod.rs
@@ -1,45 +1,43 @@
 //! Plays a scripted day: fronts as processes of their own, everything else as stand-ins in this process.
 //!
-//! - `stage`: the fronts and stand-ins, and the faults at them;
+//! - `front`: the fronts' processes;
+//! - `faults`: how the day's faults begin and end at fronts and stand-ins;
 //! - `arrivals`: the players that come;
 //! - `timeline`: the run itself;
 //! - `recording`: records on disk.
 mod arrivals;
+mod faults;
+mod front;
 mod recording;
-mod stage;
 mod timeline;
 
 use crate::crossing::{crossed, Crossed, FlowKey};
 use crate::invariant_checker::{judge, Rules, Verdict};
-use crate::list_service::{entry, ListService};
-use crate::membership_poll::Views;
+use crate::membership_poll::MembershipPoll;
 use crate::player::Habits;
 use crate::process::end_all;
-use crate::record::{Record, Recorder, Seen};
-use crate::script::{fleet_config, Day};
-use crate::server::{Fleet, Layout};
-use crate::udp_proxy::{write_key, Mesh};
-pub use arrivals::arrivals;
-use crankpaddle_config::Config;
+use crate::record::{Record, Seen};
+use crate::script::Day;
+pub use crate::stage::layout;
+use crate::stage::Stage;
+use crate::udp_proxy::{write_key, PeerNetwork};
+pub use arrivals::{arrivals, Arrival};
 use crankpaddle_cross_zone_traffic::report::{merge, TrafficReport};
 use crankpaddle_net::clock;
-use crankpaddle_server_protocol::list::EndpointState;
+use crankpaddle_time::{nanoseconds, Time};
 use crankpaddle_traffic_report::fetch;
+use front::Front;
 pub use recording::{read_records, write_records};
-use stage::{Front, Stage};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::Arc;
 use std::time::Duration;
 
-const MILLISECOND: u64 = 1_000_000;
-const SECOND: u64 = 1000 * MILLISECOND;
-/// Tolerance of the rules for scheduling, nanoseconds: stand-ins and players share the cores with the fronts.
-pub const TIMING_TOLERANCE: u64 = 150 * MILLISECOND;
-/// Grace of the rules for draining servers, nanoseconds.
-pub const DRAIN_GRACE: u64 = SECOND;
+/// Tolerance of the rules for scheduling: stand-ins and players share the cores with the fronts.
+pub const TIMING_TOLERANCE: Duration = Duration::from_millis(150);
+/// Grace of the rules for draining servers.
+pub const DRAIN_GRACE: Duration = Duration::from_secs(1);
 /// Seconds that a front may take to settle its traffic report.
 const SETTLED_WITHIN_SECONDS: u32 = 15;
 /// Time for one request of a traffic report.
@@ -75,23 +73,23 @@
     pub records: Vec<Record>,
     /// What went wrong outside the rules: fronts that ended badly, streams left at servers, bytes that differ.
     pub faults: Vec<String>,
-    /// Media bytes that servers sent and players read.
-    pub bytes: (u64, u64),
+    /// Media bytes as both sides counted them.
+    pub bytes: ByteCounts,
     /// Traffic between zones and utility, by the servers' own records.
     pub crossed: Crossed,
     /// The fronts' traffic reports, merged.
     pub reported: TrafficReport,
-    /// When arrivals began, nanoseconds of the test bed's clock.
-    pub start: u64,
+    /// When arrivals began, on the test bed's clock.
+    pub start: Time,
 }
 
 impl Outcome {
-    /// Bytes of each flow: by the servers' own records, and by the fronts' reports.
+    /// Bytes of each flow.
     #[must_use]
-    pub fn flows(&self) -> BTreeMap<FlowKey, (u64, u64)> {
-        let mut all: BTreeMap<FlowKey, (u64, u64)> = BTreeMap::new();
+    pub fn flows(&self) -> BTreeMap<FlowKey, FlowBytes> {
+        let mut all: BTreeMap<FlowKey, FlowBytes> = BTreeMap::new();
         for (key, bytes) in &self.crossed.bytes {
-            all.entry(key.clone()).or_default().0 += bytes;
+            all.entry(key.clone()).or_default().sent += bytes;
         }
         for flow in &self.reported.flows {
             let key = FlowKey {
@@ -99,7 +97,7 @@
                 to: flow.to.clone(),
                 class: flow.class.clone(),
             };
-            all.entry(key).or_default().1 += flow.bytes;
+            all.entry(key).or_default().reported += flow.bytes;
         }
         all
     }
@@ -111,26 +109,13 @@
     }
 }
 
-/// The layout of a day's stand-in servers.
-#[must_use]
-pub fn layout(day: &Day, seed: u64) -> Layout {
-    Layout {
-        count: day.servers as usize,
-        cores: day.cores as usize,
-        work: day.work,
-        uneven: day.uneven,
-        segment: day.segment,
-        seed,
-    }
-}
-
 /// How a day's players behave.
 #[must_use]
 pub fn habits(day: &Day) -> Habits {
     Habits {
         returns: day.returns,
         return_after: day.return_after,
-        honour: day.honour,
+        follows_retry_after: day.follows_retry_after,
         reconnect: day.reconnect,
         keeps_key: false,
     }
@@ -142,16 +127,16 @@
 /// A front or a stand-in could not be started, or a file not be written.
 pub fn play(day: &Day, play: &Play) -> io::Result<Outcome> {
     std::fs::create_dir_all(&play.dir)?;
-    let stage = start_stage(day, play.seed)?;
+    let stage = Stage::start(day, play.seed)?;
     let config = &stage.config;
     let peering = Peering::start(day, play)?;
     let mut fronts = start_fronts(day, play, &stage, peering.as_ref())?;
-    let start = clock::now().as_nanos();
+    let start = clock::now();
     let run_result = timeline::run(day, play, &stage, &fronts);
     let addresses = fronts.iter().map(|front| &front.process.address);
     let reported = merge(addresses.filter_map(settled_report));
     if let Some(peering) = &peering {
-        peering.views.end();
+        peering.membership_poll.end();
     }
     // Why: the fronts are ended before the result of the run is looked at, so that none is left behind.
     let mut faults = Vec::new();
@@ -167,49 +152,18 @@
         verdict,
         records,
         faults,
-        bytes: (bytes.sent, bytes.read),
+        bytes,
         crossed,
         reported,
         start,
     })
 }
 
-/// Checks the configuration of a day's fleet.
-pub(crate) fn config_of(day: &Day) -> io::Result<Arc<Config>> {
-    let invalid = |problems| io::Error::other(format!("fleet: {problems:?}"));
-    fleet_config(&day.fleet).map(Arc::new).map_err(invalid)
-}
-
-/// Starts servers and list service.
-fn start_stage(day: &Day, seed: u64) -> io::Result<Stage> {
-    let config = config_of(day)?;
-    let recorder = Recorder::default();
-    let fleet = Fleet::start(config.clone(), &layout(day, seed), recorder.clone())?;
-    let list = start_list(&fleet, day.list_delay)?;
-    Ok(Stage {
-        config,
-        fleet,
-        list,
-        recorder,
-        list_delay: day.list_delay,
-    })
-}
-
-/// Starts a list service that has all servers of a fleet as ready.
-pub(crate) fn start_list(fleet: &Fleet, delay: u64) -> io::Result<Arc<ListService>> {
-    let listing = |server: &Arc<crate::server::Server>| {
-        let (id, address) = (server.id, server.address);
-        entry(&fleet.config, id, address, EndpointState::Ready, 0)
-    };
-    let entries = fleet.servers.iter().map(listing).collect();
-    ListService::start(entries, delay, fleet.recorder.clone())
-}
-
 /// The network between fronts that know each other.
 struct Peering {
-    mesh: Mesh,
+    network: PeerNetwork,
     key: PathBuf,
-    views: Views,
+    membership_poll: MembershipPoll,
 }
 
 impl Peering {
@@ -219,15 +173,19 @@
             return Ok(None);
         }
         let fronts = day.fronts as usize;
-        let mesh = Mesh::start(fronts, play.seed)?;
+        let network = PeerNetwork::start(fronts, play.seed)?;
         let key = write_key(&play.dir)?;
-        let views = Views::start(fronts, &mesh);
-        Ok(Some(Peering { mesh, key, views }))
+        let membership_poll = MembershipPoll::start(fronts, &network);
+        Ok(Some(Peering {
+            network,
+            key,
+            membership_poll,
+        }))
     }
 
     /// The peers' block of a front's configuration.
     fn block(&self, front: usize) -> String {
-        self.mesh.block(front, &[0], &self.key, PROBE_INTERVAL)
+        self.network.block(front, &[0], &self.key, PROBE_INTERVAL)
     }
 }
 
@@ -241,10 +199,11 @@
     for index in 0..day.fronts {
         let number = index as usize;
         let peers = peering.map(|p| p.block(number)).unwrap_or_default();
-        let list = &stage.list.address;
-        let front = Front::start(play, index, day, &stage.config, list, &peers)?;
+        let front = Front::start(play, index, day, stage, &peers)?;
         if let Some(peering) = peering {
-            peering.views.runs(number, Some(front.process.address));
+            peering
+                .membership_poll
+                .set_address(number, Some(front.process.address));
         }
         fronts.push(front);
     }
@@ -267,13 +226,25 @@
 }
 
 /// Media bytes as both sides counted them.
-struct ByteCounts {
-    sent: u64,
-    read: u64,
+#[derive(Clone, Copy, Debug)]
+pub struct ByteCounts {
+    /// Bytes that servers sent.
+    pub sent: u64,
+    /// Bytes that players read.
+    pub read: u64,
     /// Sessions that players read.
     watched_sessions: u64,
 }
 
+/// Bytes of a flow as both sides counted them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FlowBytes {
+    /// By the servers' own records.
+    pub sent: u64,
+    /// By the fronts' reports.
+    pub reported: u64,
+}
+
 fn count_bytes(records: &[Record]) -> ByteCounts {
     let mut counts = ByteCounts {
         sent: 0,
@@ -299,8 +270,9 @@
         let (sent, read) = (self.sent, self.read);
         let mean = read.checked_div(self.watched_sessions).unwrap_or(0);
         // A session that breaks off leaves at most a segment between the two counts.
-        let segment = day.segment.max(1);
-        let allowed = sent / 50 + mean * segment / day.watch.max(1) * 10;
+        let segment = nanoseconds(day.segment).max(1);
+        let watch = nanoseconds(day.watch).max(1);
+        let allowed = sent / 50 + mean * segment / watch * 10;
         (sent.abs_diff(read) > allowed + BYTE_TOLERANCE)
             .then(|| format!("servers sent {sent} media bytes and players read {read}"))
     }
--- a/crates/testbed/src/scenario_runner/timeline.rs
+++ b/crates/testbed/src/scenario_runner/timeline.rs
@@ -1,42 +1,40 @@
 //! The run of a day: its faults and arrivals in the order of their times, then the wait for its end.
-use super::stage::{Front, Stage};
-use super::{arrivals, habits, Play, SECOND};
-use crate::player::{PlayerPool, Visit};
+use super::front::Front;
+use super::{arrivals, habits, Arrival, Play};
+use crate::player::{FrontAddress, PlayerPool};
 use crate::script::{Day, Fault};
+use crate::stage::Stage;
 use crate::wind_down::{wait_for_players, wait_for_streams};
 use crankpaddle_net::{clock, spawn, Stack};
+use crankpaddle_time::Time;
 use std::io;
 use std::iter::Peekable;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::vec::IntoIter;
 
 /// After the day's end sessions are watched for this long at most.
-const WATCH_AFTER_END: u64 = 10 * SECOND;
+const WATCH_AFTER_END: Duration = Duration::from_secs(10);
 /// After the last arrival the players have this long to leave.
-const PLAYERS_LEAVE_WITHIN: u64 = 40 * SECOND;
+const PLAYERS_LEAVE_WITHIN: Duration = Duration::from_secs(40);
 
-/// The begin or end of a fault; nanoseconds from the start of the day.
+/// The begin or end of a fault, and its time from the start of the day.
 struct Transition<'a> {
-    at: u64,
+    at: Duration,
     begins: bool,
     fault: &'a Fault,
 }
 
-/// Fronts that a player may choose from, by number.
-type FrontAddresses = Vec<(u32, SocketAddr)>;
-
 struct Timeline<'a> {
     day: &'a Day,
     stage: &'a Stage,
     fronts: &'a [Front],
     players: Arc<PlayerPool>,
-    fronts_by_zone: Vec<FrontAddresses>,
+    fronts_by_zone: Vec<Vec<FrontAddress>>,
     transitions: Peekable<IntoIter<Transition<'a>>>,
-    visits: Peekable<IntoIter<(u64, Visit)>>,
+    arrivals: Peekable<IntoIter<Arrival>>,
     /// When the day started.
-    start: u64,
+    start: Time,
 }
 
 /// Runs a day; what was not as it must be outside the rules.
@@ -54,20 +52,20 @@
         fronts,
         players: players.clone(),
         transitions: transitions(day).into_iter().peekable(),
-        visits: arrivals(day, &stage.config, play.seed)
+        arrivals: arrivals(day, &stage.config, play.seed)
             .into_iter()
             .peekable(),
         fronts_by_zone: zones.map(|zone| fronts_for_zone(fronts, zone)).collect(),
-        start: clock::now().as_nanos(),
+        start: clock::now(),
     };
     let deadline = timeline.start + day.length + PLAYERS_LEAVE_WITHIN;
     timeline.run_to_end()?;
     let mut faults = Vec::new();
     faults.extend(wait_for_players(&players, deadline));
     faults.extend(wait_for_streams(&stage.fleet));
-    let found_no_front = players.found_no_front();
-    if found_no_front > 0 {
-        faults.push(format!("{found_no_front} tries found no front"));
+    let failed_connects = players.failed_connects();
+    if failed_connects > 0 {
+        faults.push(format!("{failed_connects} tries found no front"));
     }
     Ok(faults)
 }
@@ -92,12 +90,15 @@
 }
 
 /// The fronts of a zone; all fronts where it has none.
-fn fronts_for_zone(fronts: &[Front], zone: usize) -> FrontAddresses {
-    let addresses_where = |accepts: &dyn Fn(&Front) -> bool| -> FrontAddresses {
+fn fronts_for_zone(fronts: &[Front], zone: usize) -> Vec<FrontAddress> {
+    let addresses_where = |accepts: &dyn Fn(&Front) -> bool| -> Vec<FrontAddress> {
         let numbered = fronts.iter().enumerate();
         numbered
             .filter(|(_, front)| accepts(front))
-            .map(|(number, front)| (number as u32, front.process.address))
+            .map(|(number, front)| FrontAddress {
+                number: number as u32,
+                address: front.process.address,
+            })
             .collect()
     };
     let own = addresses_where(&|front| front.zone == zone);
@@ -111,16 +112,16 @@
     fn run_to_end(&mut self) -> io::Result<()> {
         loop {
             let next_transition = self.transitions.peek().map(|transition| transition.at);
-            let next_visit = self.visits.peek().map(|(at, _)| *at);
-            let Some(next) = next_transition.into_iter().chain(next_visit).min() else {
+            let next_arrival = self.arrivals.peek().map(|arrival| arrival.at);
+            let Some(next) = next_transition.into_iter().chain(next_arrival).min() else {
                 return Ok(());
             };
-            let wait = (self.start + next).saturating_sub(clock::now().as_nanos());
-            std::thread::sleep(Duration::from_nanos(wait));
+            let wait = (self.start + next).duration_since(clock::now());
+            std::thread::sleep(wait);
             if next_transition == Some(next) {
                 self.apply_next_transition()?;
             } else {
-                self.start_next_visit();
+                self.start_next_arrival();
             }
         }
     }
@@ -136,8 +137,8 @@
         self.stage.end(fault, self.fronts)
     }
 
-    fn start_next_visit(&mut self) {
-        let Some((at, mut visit)) = self.visits.next() else {
+    fn start_next_arrival(&mut self) {
+        let Some(Arrival { at, mut visit }) = self.arrivals.next() else {
             return;
         };
         let zones = self.fronts_by_zone.len() as u64;
