--- a/crates/benchmark/src/account.rs
+++ b/crates/benchmark/src/account.rs
@@ -5,13 +5,14 @@
 use crankpaddle_cross_zone_traffic::traffic_controller::{
     AttemptUsage, TrafficClass, TrafficConfig, TrafficController,
 };
+use crankpaddle_time::Time;
 use std::collections::BTreeMap;
 use std::hint::black_box;
 use std::io;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-const SECOND: u64 = 1_000_000_000;
-const START: u64 = 1_000_000 * SECOND;
+const SECOND: Duration = Duration::from_secs(1);
+const START: Time = Time(1_000_000 * 1_000_000_000);
 const SERVERS: u32 = 100;
 /// Sessions settled in a step, as the front does.
 const STEP: usize = 512;
@@ -36,7 +37,7 @@
         rate_kb: 1e9,
         burst: 1e12,
         volume: f64::INFINITY,
-        period: 0,
+        period: None,
         repay: 60 * SECOND,
     };
     let mut controller = TrafficController::new(TrafficConfig {
@@ -118,7 +119,7 @@
         let pid = std::process::id();
         let before = cpu_seconds(pid)?;
         for second in 1..=self.plan.seconds {
-            let now = START + second * SECOND;
+            let now = START + Duration::from_secs(second);
             self.send(now);
             self.replace_oldest(now);
             self.settle(now);
@@ -129,7 +130,7 @@
     }
 
     /// Each session's server counts the bytes of a second.
-    fn send(&mut self, now: u64) {
+    fn send(&mut self, now: Time) {
         for (id, bytes) in &mut self.sent {
             *bytes += BYTES_A_SECOND;
             if let Some(controller) = self.controller.as_deref_mut() {
@@ -139,7 +140,7 @@
     }
 
     /// The oldest sessions end and as many begin.
-    fn replace_oldest(&mut self, now: u64) {
+    fn replace_oldest(&mut self, now: Time) {
         let count = (self.plan.sessions / LENGTH) as usize;
         let oldest: Vec<u64> = self.sent.keys().take(count).copied().collect();
         for id in oldest {
@@ -156,7 +157,7 @@
     }
 
     /// The work of each second: budgets, then settling in steps.
-    fn settle(&mut self, now: u64) {
+    fn settle(&mut self, now: Time) {
         let Some(controller) = self.controller.as_deref_mut() else {
             return;
         };
--- a/crates/config/src/check/budgets.rs
+++ b/crates/config/src/check/budgets.rs
@@ -6,6 +6,7 @@
 use crankpaddle_cross_zone_traffic::cross_zone_admission::CrossZoneLimit;
 use crankpaddle_textproto::Unit;
 use std::collections::HashMap;
+use std::time::Duration;
 
 /// The traffic that a budget limits, as indices; `None` for an unknown zone, and for all classes.
 #[derive(Clone, Copy, PartialEq, Eq, Hash)]
@@ -78,17 +79,19 @@
         let rate_kb = self.measure(&path("rate"), &budget.rate, Unit::Rate, 0.0);
         let burst = self.measure(&path("burst"), &budget.burst, Unit::Size, 1.0);
         let mut volume = f64::INFINITY;
-        let mut period = 0;
+        let mut period = None;
         if has_volume {
             volume = self.size(&path("volume"), &budget.volume) as f64;
-            period = self.time(&path("period"), &budget.period);
+            period = Some(Duration::from_nanos(
+                self.time(&path("period"), &budget.period),
+            ));
         }
         SharedBudget {
             rate_kb,
             burst,
             volume,
             period,
-            repay: self.time(&path("repay"), budget.repay()),
+            repay: Duration::from_nanos(self.time(&path("repay"), budget.repay())),
         }
     }
 }
--- a/crates/config/tests/check.rs
+++ b/crates/config/tests/check.rs
@@ -1,6 +1,7 @@
 //! Every problem in a file is reported at once, with its place and with what is allowed.
 use crankpaddle_config::{parse, Problem};
 use proptest::prelude::*;
+use std::time::Duration;
 
 /// All fields: the example in deploy, with its limits and rules stated.
 const GOOD: &str = include_str!("full.textproto");
@@ -306,7 +307,7 @@
     );
     assert_eq!(
         (limit.shared.volume, limit.shared.repay),
-        (f64::INFINITY, 60_000_000_000)
+        (f64::INFINITY, Duration::from_nanos(60_000_000_000))
     );
     let none = parse(&budget("burst: \"1MiB\"").replace("5MB/s", "0kB/s")).unwrap();
     assert_eq!(
--- a/crates/cross-zone-traffic/src/budget.rs
+++ b/crates/cross-zone-traffic/src/budget.rs
@@ -9,7 +9,9 @@
 //! by what chance makes sessions longer than the mean (what flows is charged as it flows, and the expected rest is
 //! reserved in addition). At the start the fronts' first sessions are spread over the time that one session takes of a
 //! quota, so that fronts do not all start one at once. A volume is held in equal quotas, whatever the load on each front.
-use crate::{BYTES_PER_KB, SECOND};
+use crate::{BYTES_PER_KB, NANOSECONDS_PER_SECOND};
+use crankpaddle_time::{nanoseconds, Time};
+use std::time::Duration;
 
 /// A smaller quota retains debt of no more than this many times its burst.
 const MAX_DEBT_AFTER_QUOTA_CUT: f64 = 2.0;
@@ -23,11 +25,11 @@
     pub burst: f64,
     /// Bytes in a period; infinite: no such bound.
     pub volume: f64,
-    /// Length of the period, nanoseconds.
-    pub period: u64,
-    /// Debt beyond the burst is repaid for this time at most, nanoseconds; what would take longer is written off.
+    /// Length of the period; `None`: it never ends.
+    pub period: Option<Duration>,
+    /// Debt beyond the burst is repaid for this time at most; what would take longer is written off.
     /// Why: without a bound, previews would be kept off other zones for hours after a long outage of a zone.
-    pub repay: u64,
+    pub repay: Duration,
 }
 
 /// Which front this is.
@@ -57,7 +59,8 @@
     conforming_debt: f64,
     /// Bytes beyond the budget, to be repaid for a bounded time.
     overdraft_debt: f64,
-    now: u64,
+    /// Time of the last update; [`Time::ZERO`] before the first.
+    now: Time,
     has_reserved: bool,
     /// Number of the present period.
     current_period: u64,
@@ -75,7 +78,7 @@
             quota: position.equal_quota(),
             conforming_debt: 0.0,
             overdraft_debt: 0.0,
-            now: 0,
+            now: Time::ZERO,
             has_reserved: false,
             current_period: 0,
             used_in_period: 0.0,
@@ -99,7 +102,7 @@
     ///
     /// Why: a 240th of the rate would take hours to repay what the whole of it could owe. What is remitted was sent
     /// beyond the new quota, but within the old one.
-    pub(crate) fn set_quota(&mut self, now: u64, quota: f64) {
+    pub(crate) fn set_quota(&mut self, now: Time, quota: f64) {
         self.advance_clock(now, 0.0);
         let previous = std::mem::replace(&mut self.quota, quota.clamp(0.0, 1.0));
         if self.quota < previous {
@@ -111,7 +114,7 @@
 
     /// This front's quota of the rate, bytes a nanosecond.
     fn drain_rate(&self) -> f64 {
-        self.shared.rate_kb.max(0.0) * BYTES_PER_KB / SECOND as f64 * self.quota
+        self.shared.rate_kb.max(0.0) * BYTES_PER_KB / NANOSECONDS_PER_SECOND * self.quota
     }
 
     /// This front's quota of the burst, bytes.
@@ -130,19 +133,21 @@
 
     /// Advances to a time at which a session of `expected` bytes may start. A clock that steps back stands still here
     /// until it has caught up.
-    fn advance_clock(&mut self, now: u64, expected: f64) {
+    fn advance_clock(&mut self, now: Time, expected: f64) {
         self.drain_until(now);
         self.spread_first_reservation(expected);
         self.write_off_excess();
         self.start_period_when_due();
     }
 
-    fn drain_until(&mut self, now: u64) {
+    fn drain_until(&mut self, now: Time) {
         if now <= self.now {
             return;
         }
-        let elapsed = if self.now == 0 { 0 } else { now - self.now };
-        self.repay(elapsed as f64 * self.drain_rate());
+        if self.now != Time::ZERO {
+            let elapsed = now.duration_since(self.now);
+            self.repay(nanoseconds(elapsed) as f64 * self.drain_rate());
+        }
         self.now = now;
     }
 
@@ -167,7 +172,7 @@
     ///
     /// Why only the overdraft: with a bound on all debt, a quota smaller than a session would never repay one.
     fn write_off_excess(&mut self) {
-        let max_overdraft = self.drain_rate() * self.shared.repay as f64;
+        let max_overdraft = self.drain_rate() * nanoseconds(self.shared.repay) as f64;
         if self.overdraft_debt > max_overdraft {
             self.written_off += self.overdraft_debt - max_overdraft;
             self.overdraft_debt = max_overdraft;
@@ -175,7 +180,10 @@
     }
 
     fn start_period_when_due(&mut self) {
-        let period = self.now.checked_div(self.shared.period).unwrap_or(0);
+        let period = self.shared.period.map_or(0, |length| {
+            let number = self.now.as_nanos().checked_div(nanoseconds(length));
+            number.unwrap_or(0)
+        });
         if period != self.current_period {
             self.current_period = period;
             self.used_in_period = 0.0;
@@ -183,7 +191,7 @@
     }
 
     /// The debt over the burst tolerance; at 1 and more nothing conforms.
-    pub fn level(&mut self, now: u64) -> f64 {
+    pub fn level(&mut self, now: Time) -> f64 {
         self.advance_clock(now, 0.0);
         if self.drain_rate() <= 0.0 {
             return f64::INFINITY;
@@ -197,14 +205,14 @@
     }
 
     /// Whether a session that is expected to send so many bytes conforms now.
-    pub fn conforms(&mut self, now: u64, expected: f64) -> bool {
+    pub fn conforms(&mut self, now: Time, expected: f64) -> bool {
         self.advance_clock(now, expected);
         let within_volume = self.used_in_period + expected <= self.volume_quota();
         within_volume && self.drain_rate() > 0.0 && self.debt() <= self.burst_tolerance()
     }
 
     /// Reserves what a session is expected to send, conforming or not; returns the bytes beyond the budget.
-    pub fn reserve(&mut self, now: u64, expected: f64) -> f64 {
+    pub fn reserve(&mut self, now: Time, expected: f64) -> f64 {
         let conforms = self.conforms(now, expected);
         let expected = expected.max(0.0);
         self.used_in_period += expected;
@@ -216,7 +224,7 @@
 
     /// Corrects a reservation of `expected` bytes: the session sent `sent` bytes in all, or is now expected to.
     /// `overdrawn`: it was reserved beyond the budget.
-    pub(crate) fn correct(&mut self, now: u64, expected: f64, sent: f64, overdrawn: bool) {
+    pub(crate) fn correct(&mut self, now: Time, expected: f64, sent: f64, overdrawn: bool) {
         self.advance_clock(now, 0.0);
         let difference = sent - expected;
         self.used_in_period = (self.used_in_period + difference).max(0.0);
@@ -233,7 +241,7 @@
     }
 
     /// Charges bytes that were overdrawn in another budget and are repaid in this one.
-    pub(crate) fn charge(&mut self, now: u64, bytes: f64) {
+    pub(crate) fn charge(&mut self, now: Time, bytes: f64) {
         self.advance_clock(now, 0.0);
         self.overdraft_debt += bytes.max(0.0);
     }
--- a/crates/cross-zone-traffic/src/cross_zone_admission/budget_pool.rs
+++ b/crates/cross-zone-traffic/src/cross_zone_admission/budget_pool.rs
@@ -3,6 +3,7 @@
 use super::CrossingSession;
 use crate::budget::{Budget, FrontPosition, SharedBudget};
 use crate::quota_share::QuotaShare;
+use crankpaddle_time::Time;
 use std::collections::BTreeMap;
 
 /// At this level of the budget only paid sessions start to cross ...
@@ -34,8 +35,8 @@
     pub(super) budget: Budget,
     pub(super) quota_share: QuotaShare,
     pub(super) is_short: bool,
-    /// When sessions were last capped for it, nanoseconds.
-    pub(super) last_relief: u64,
+    /// When sessions were last capped for it; [`Time::ZERO`] before the first time.
+    pub(super) last_relief: Time,
     /// Bytes beyond the budget so far, by cause.
     pub(super) overdrafts: BTreeMap<CapReason, f64>,
 }
@@ -46,7 +47,7 @@
             budget: Budget::new(shared, position),
             quota_share: QuotaShare::new(position.equal_quota()),
             is_short: false,
-            last_relief: 0,
+            last_relief: Time::ZERO,
             overdrafts: BTreeMap::new(),
         }
     }
@@ -59,7 +60,7 @@
     }
 
     /// Corrects what is reserved for a session to the bytes that it is now expected to send in all.
-    pub(super) fn correct(&mut self, now: u64, session: &CrossingSession, expected: f64) {
+    pub(super) fn correct(&mut self, now: Time, session: &CrossingSession, expected: f64) {
         let reserved = session.reserved;
         let is_overdrawn = session.overdrawn.is_some();
         self.budget.correct(now, reserved, expected, is_overdrawn);
@@ -72,7 +73,7 @@
     }
 
     /// Updates whether the budget is short and returns it.
-    pub(super) fn update_shortage(&mut self, now: u64) -> bool {
+    pub(super) fn update_shortage(&mut self, now: Time) -> bool {
         let threshold = if self.is_short {
             AMPLE_LEVEL
         } else {
--- a/crates/cross-zone-traffic/src/cross_zone_admission/crossing_session.rs
+++ b/crates/cross-zone-traffic/src/cross_zone_admission/crossing_session.rs
@@ -1,7 +1,8 @@
 //! A session that crosses between zones: its rate, what it sent, and what is reserved for it.
 use super::budget_pool::{BudgetKey, BudgetPool};
 use super::types::CapReason;
-use crate::{BYTES_PER_KB, SECOND};
+use crate::{BYTES_PER_KB, NANOSECONDS_PER_SECOND};
+use crankpaddle_time::{nanoseconds, Time};
 
 #[derive(Clone, Copy, Debug)]
 pub(super) struct CrossingSession {
@@ -14,9 +15,9 @@
     pub(super) uncapped_rate_kb: f64,
     /// Bytes that are reserved for it.
     pub(super) reserved: f64,
-    pub(super) started_at: u64,
-    /// Since when it has the present rate, nanoseconds.
-    pub(super) rate_since: u64,
+    pub(super) started_at: Time,
+    /// Since when it has the present rate.
+    pub(super) rate_since: Time,
     /// Bytes that it sent before `rate_since`.
     pub(super) sent: f64,
     pub(super) is_capped: bool,
@@ -26,12 +27,12 @@
 
 impl CrossingSession {
     /// Bytes that it has sent by now.
-    pub(super) fn sent_by(&self, now: u64) -> f64 {
+    pub(super) fn sent_by(&self, now: Time) -> f64 {
         self.sent + self.rate_kb * BYTES_PER_KB * seconds_between(self.rate_since, now)
     }
 
     /// Seconds since it started.
-    pub(super) fn age(&self, now: u64) -> f64 {
+    pub(super) fn age(&self, now: Time) -> f64 {
         seconds_between(self.started_at, now)
     }
 
@@ -40,7 +41,7 @@
     pub(super) fn continue_at(
         &mut self,
         rate_kb: f64,
-        now: u64,
+        now: Time,
         remaining_seconds: f64,
         pool: Option<&mut BudgetPool>,
     ) {
@@ -55,6 +56,6 @@
     }
 }
 
-fn seconds_between(from: u64, to: u64) -> f64 {
-    to.saturating_sub(from) as f64 / SECOND as f64
+fn seconds_between(from: Time, to: Time) -> f64 {
+    nanoseconds(to.duration_since(from)) as f64 / NANOSECONDS_PER_SECOND
 }
--- a/crates/cross-zone-traffic/src/cross_zone_admission/mod.rs
+++ b/crates/cross-zone-traffic/src/cross_zone_admission/mod.rs
@@ -21,6 +21,7 @@
 use crate::quota_share::UsageReports;
 use crate::BYTES_PER_KB;
 use budget_pool::{BudgetKey, BudgetPool};
+use crankpaddle_time::Time;
 use crossing_session::CrossingSession;
 use policies::ZoneClass;
 use std::collections::{BTreeMap, BTreeSet};
@@ -115,14 +116,14 @@
     }
 
     /// The debt of a budget over the burst; 0 where there is no budget.
-    fn budget_level(&mut self, now: u64, key: BudgetKey) -> f64 {
+    fn budget_level(&mut self, now: Time, key: BudgetKey) -> f64 {
         self.pools
             .get_mut(&key)
             .map_or(0.0, |pool| pool.budget.level(now))
     }
 
     /// A session starts to cross; returns the bytes that were reserved beyond its budget.
-    pub fn session_started(&mut self, now: u64, start: SessionStart) -> f64 {
+    pub fn session_started(&mut self, now: Time, start: SessionStart) -> f64 {
         if self.sessions.contains_key(&start.session) {
             return 0.0;
         }
@@ -161,7 +162,7 @@
     }
 
     /// Charges what a paid class overdrew in a budget of its own to the budgets of the zone's other classes.
-    fn charge_other_budgets(&mut self, now: u64, overdrawn: BudgetKey, bytes: f64) {
+    fn charge_other_budgets(&mut self, now: Time, overdrawn: BudgetKey, bytes: f64) {
         if !self.is_paid_budget(overdrawn) {
             return; // The classes that repay are under the same budget.
         }
@@ -178,7 +179,7 @@
     }
 
     /// The rate of a session changed.
-    pub fn rate_changed(&mut self, now: u64, session: u64, rate_kb: f64) {
+    pub fn rate_changed(&mut self, now: Time, session: u64, rate_kb: f64) {
         let Some(session) = self.sessions.get_mut(&session) else {
             return;
         };
@@ -187,7 +188,7 @@
     }
 
     /// A session ended.
-    pub fn session_ended(&mut self, now: u64, session: u64) {
+    pub fn session_ended(&mut self, now: Time, session: u64) {
         let Some(session) = self.sessions.remove(&session) else {
             return;
         };
@@ -209,7 +210,7 @@
         &mut self,
         zone: u8,
         server: u32,
-        at: u64,
+        at: Time,
         rate_kb_by_class: BTreeMap<u8, f64>,
     ) {
         self.usage_reports
@@ -229,7 +230,7 @@
 
     /// Charges what flowed since the previous call, updates the quotas, and returns which sessions are to be capped or
     /// uncapped; call it about once a second.
-    pub fn tick(&mut self, now: u64) -> RateCapChanges {
+    pub fn tick(&mut self, now: Time) -> RateCapChanges {
         let rate_by_budget = self.charge_sessions(now);
         self.update_quotas(now, &rate_by_budget);
         self.update_rate_caps(now)
--- a/crates/cross-zone-traffic/src/cross_zone_admission/policies.rs
+++ b/crates/cross-zone-traffic/src/cross_zone_admission/policies.rs
@@ -1,6 +1,7 @@
 //! How classes may be served from other zones, and where that changed.
 use super::types::PolicyChange;
 use super::{CrossZoneAdmission, CrossZonePolicy};
+use crankpaddle_time::Time;
 
 /// Classes are numbered in a byte.
 const MAX_CLASSES: usize = 256;
@@ -14,7 +15,7 @@
 
 impl CrossZoneAdmission {
     /// How a class may be served from a zone now.
-    pub fn policy(&mut self, now: u64, zone: u8, class: u8) -> CrossZonePolicy {
+    pub fn policy(&mut self, now: Time, zone: u8, class: u8) -> CrossZonePolicy {
         let key = self.budget_key(zone, class);
         let Some(pool) = key.and_then(|key| self.pools.get_mut(&key)) else {
             return CrossZonePolicy::Allowed;
@@ -30,7 +31,7 @@
     }
 
     /// The policies that changed since the previous call. Call it before requests are placed.
-    pub fn policy_changes(&mut self, now: u64) -> Vec<PolicyChange> {
+    pub fn policy_changes(&mut self, now: Time) -> Vec<PolicyChange> {
         let mut changes = Vec::new();
         for key in self.policies_to_check() {
             let ZoneClass { zone, class } = key;
--- a/crates/cross-zone-traffic/src/cross_zone_admission/quotas.rs
+++ b/crates/cross-zone-traffic/src/cross_zone_admission/quotas.rs
@@ -2,6 +2,7 @@
 use super::budget_pool::{BudgetKey, BudgetPool};
 use super::{CrossZoneAdmission, CrossZonePolicy};
 use crate::quota_share::{ObservedUsage, UsageReports};
+use crankpaddle_time::Time;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The least rate that usage is divided by, kB a second; a budget may be 0.
@@ -9,7 +10,7 @@
 
 impl CrossZoneAdmission {
     /// A request of a class arrived: where a budget holds it back, this front has demand for more of it.
-    pub fn session_requested(&mut self, now: u64, class: u8) {
+    pub fn session_requested(&mut self, now: Time, class: u8) {
         for zone in self.budgeted_zones() {
             if self.policy(now, zone, class) == CrossZonePolicy::Allowed {
                 continue;
@@ -24,7 +25,7 @@
     /// Zones whose servers' reports this front needs now: it has demand for more than its quota of a budget, or holds more
     /// than an equal one.
     #[must_use]
-    pub fn zones_observed(&self, now: u64) -> BTreeSet<u8> {
+    pub fn zones_observed(&self, now: Time) -> BTreeSet<u8> {
         let needs_reports = |pool: &BudgetPool| {
             pool.quota_share.has_demand(now) || pool.quota_share.exceeds_equal_share()
         };
@@ -40,7 +41,7 @@
     /// Why not only at the end of a session: with the first expectation alone, sessions that end early give back at once
     /// while long ones are charged only when they end, and for as long as that the fronts are over their budget together
     /// (by a third, measured in a test).
-    pub(super) fn charge_sessions(&mut self, now: u64) -> BTreeMap<BudgetKey, f64> {
+    pub(super) fn charge_sessions(&mut self, now: Time) -> BTreeMap<BudgetKey, f64> {
         let mut rate_by_budget: BTreeMap<BudgetKey, f64> = BTreeMap::new();
         // One pass over all sessions: this runs between players' requests and their responses.
         for session in self.sessions.values_mut() {
@@ -52,7 +53,7 @@
     }
 
     /// Updates this front's quota of each budget.
-    pub(super) fn update_quotas(&mut self, now: u64, rate_by_budget: &BTreeMap<BudgetKey, f64>) {
+    pub(super) fn update_quotas(&mut self, now: Time, rate_by_budget: &BTreeMap<BudgetKey, f64>) {
         for key in self.budget_keys() {
             let all_fronts = self.usage_of_all_fronts(now, key);
             let Some(pool) = self.pools.get_mut(&key) else {
@@ -71,7 +72,7 @@
     }
 
     /// kB a second that crosses under a budget for all fronts; `None` where a server that is up has no recent report.
-    fn usage_of_all_fronts(&self, now: u64, key: BudgetKey) -> Option<ObservedUsage> {
+    fn usage_of_all_fronts(&self, now: Time, key: BudgetKey) -> Option<ObservedUsage> {
         let applies_to = |class: u8| self.budget_key(key.zone, class) == Some(key);
         let servers = self
             .servers_up
--- a/crates/cross-zone-traffic/src/cross_zone_admission/rate_caps.rs
+++ b/crates/cross-zone-traffic/src/cross_zone_admission/rate_caps.rs
@@ -2,14 +2,15 @@
 use super::budget_pool::{BudgetKey, SHORT_LEVEL};
 use super::types::RateCapChanges;
 use super::CrossZoneAdmission;
-use crate::SECOND;
+use crankpaddle_time::Time;
+use std::time::Duration;
 
 /// Over this level previews that cross are capped; overdrafts of paid sessions and quotas that are given back lead there.
 const RELIEF_LEVEL: f64 = 1.5;
 /// Up to this level caps are lifted, one a tick, that of the cheapest session first.
 const RESTORE_LEVEL: f64 = 0.6;
-/// Time between two reliefs of a budget, nanoseconds: the effect of a cap must first show.
-const RELIEF_INTERVAL: u64 = 2 * SECOND;
+/// Time between two reliefs of a budget: the effect of a cap must first show.
+const RELIEF_INTERVAL: Duration = Duration::from_secs(2);
 
 /// A session that may be capped.
 struct CapCandidate {
@@ -20,7 +21,7 @@
 
 impl CrossZoneAdmission {
     /// Caps and uncaps sessions of each budget.
-    pub(super) fn update_rate_caps(&mut self, now: u64) -> RateCapChanges {
+    pub(super) fn update_rate_caps(&mut self, now: Time) -> RateCapChanges {
         let mut changes = RateCapChanges::default();
         for key in self.budget_keys() {
             self.cap_sessions(now, key, &mut changes);
@@ -30,11 +31,11 @@
     }
 
     /// Caps previews, the dearest first, until the debt is within the burst.
-    fn cap_sessions(&mut self, now: u64, key: BudgetKey, changes: &mut RateCapChanges) {
+    fn cap_sessions(&mut self, now: Time, key: BudgetKey, changes: &mut RateCapChanges) {
         let Some(pool) = self.pools.get_mut(&key) else {
             return;
         };
-        let next_relief = pool.last_relief.saturating_add(RELIEF_INTERVAL);
+        let next_relief = pool.last_relief + RELIEF_INTERVAL;
         if pool.budget.level(now) <= RELIEF_LEVEL || now < next_relief {
             return;
         }
@@ -65,7 +66,7 @@
         candidates
     }
 
-    fn cap(&mut self, now: u64, id: u64) {
+    fn cap(&mut self, now: Time, id: u64) {
         if let Some(session) = self.sessions.get_mut(&id) {
             session.is_capped = true;
             session.uncapped_rate_kb = session.rate_kb;
@@ -75,7 +76,7 @@
     }
 
     /// Lifts the cap of the session whose rate before it was the lowest.
-    fn uncap_cheapest(&mut self, now: u64, key: BudgetKey, changes: &mut RateCapChanges) {
+    fn uncap_cheapest(&mut self, now: Time, key: BudgetKey, changes: &mut RateCapChanges) {
         if self.budget_level(now, key) > RESTORE_LEVEL {
             return;
         }
--- a/crates/cross-zone-traffic/src/cross_zone_admission/status.rs
+++ b/crates/cross-zone-traffic/src/cross_zone_admission/status.rs
@@ -2,17 +2,18 @@
 use super::budget_pool::BudgetKey;
 use super::types::{BudgetStatus, CrossZoneLimit};
 use super::CrossZoneAdmission;
+use crankpaddle_time::Time;
 
 impl CrossZoneAdmission {
     /// The state of each budget.
-    pub fn budget_statuses(&mut self, now: u64) -> Vec<BudgetStatus> {
+    pub fn budget_statuses(&mut self, now: Time) -> Vec<BudgetStatus> {
         self.budget_keys()
             .into_iter()
             .filter_map(|key| self.budget_status(now, key))
             .collect()
     }
 
-    fn budget_status(&mut self, now: u64, key: BudgetKey) -> Option<BudgetStatus> {
+    fn budget_status(&mut self, now: Time, key: BudgetKey) -> Option<BudgetStatus> {
         let level = self.budget_level(now, key);
         let pool = self.pools.get(&key)?;
         Some(BudgetStatus {
--- a/crates/cross-zone-traffic/src/lib.rs
+++ b/crates/cross-zone-traffic/src/lib.rs
@@ -8,7 +8,7 @@
 //! - [`traffic_controller`]: a front's usage account and budgets, driven by the events of its sessions;
 //! - [`report`]: the report that is published and saved, and how reports of many fronts are merged.
 //!
-//! Times are nanoseconds of a clock that the caller supplies; rates are kB a second (1 kB is 1,000 bytes).
+//! Points in time are those of a clock that the caller supplies; rates are kB a second (1 kB is 1,000 bytes).
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 pub mod budget;
@@ -19,7 +19,7 @@
 pub mod usage_accounting;
 pub mod windows;
 
-/// Nanoseconds in a second.
-pub(crate) const SECOND: u64 = 1_000_000_000;
+/// Nanoseconds in a second, for computations with rates.
+pub(crate) const NANOSECONDS_PER_SECOND: f64 = 1e9;
 /// Bytes in a kB.
 pub(crate) const BYTES_PER_KB: f64 = 1000.0;
--- a/crates/cross-zone-traffic/src/quota_share.rs
+++ b/crates/cross-zone-traffic/src/quota_share.rs
@@ -15,8 +15,9 @@
 //! Bound: beyond the budget goes only what idle fronts start within their equal quotas before the others have received
 //! reports of it and given back: less than the budget once more, (N - 1) / N of it, for the reports' delay and the length
 //! of a session (previews that cross are capped sooner). Without reports the sum is the budget.
-use crate::SECOND;
+use crankpaddle_time::Time;
 use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
 
 /// All fronts together take this share of the headroom that reports show in a step (a second). What crosses follows the
 /// quotas by about the length of a session, so headroom seems to be there for that long after it was given away.
@@ -29,12 +30,12 @@
 const MAX_QUOTA_OVER_USAGE: f64 = 1.5;
 /// A quota this much above the equal one depends on reports; less is a rounding error.
 const EXCEEDS_EQUAL_QUOTA: f64 = 1.01;
-/// A report older than this is not used, nanoseconds.
-const REPORT_TTL: u64 = 7 * SECOND / 2;
-/// Time between updates, nanoseconds.
-const UPDATE_INTERVAL: u64 = SECOND;
-/// Demand lasts so long after a session was held back, nanoseconds.
-const DEMAND_DURATION: u64 = 10 * SECOND;
+/// A report older than this is not used.
+const REPORT_TTL: Duration = Duration::from_millis(3500);
+/// Time between updates.
+const UPDATE_INTERVAL: Duration = Duration::from_secs(1);
+/// Demand lasts so long after a session was held back.
+const DEMAND_DURATION: Duration = Duration::from_secs(10);
 /// Weight of an update in the mean usage. Why so small: sessions start in bursts, whenever the debt has drained; a quota
 /// that followed each burst and gap would fall back to an equal one again and again.
 const MEAN_USAGE_WEIGHT: f64 = 1.0 / 15.0;
@@ -42,15 +43,15 @@
 /// Usage that was observed at a time; of a rate or of a budget, as the context states.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct ObservedUsage {
-    /// The time, nanoseconds.
-    pub(crate) at: u64,
+    /// The time.
+    pub(crate) at: Time,
     /// The usage: kB a second, or a fraction of the budget's rate.
     pub(crate) usage: f64,
 }
 
 #[derive(Clone, Debug)]
 struct ServerReport {
-    at: u64,
+    at: Time,
     rate_kb_by_class: BTreeMap<u8, f64>,
 }
 
@@ -62,7 +63,7 @@
 
 impl UsageReports {
     /// A server reports what it sends across, kB a second by class. A report older than the latest one is ignored.
-    pub(crate) fn record(&mut self, server: u32, at: u64, rate_kb_by_class: BTreeMap<u8, f64>) {
+    pub(crate) fn record(&mut self, server: u32, at: Time, rate_kb_by_class: BTreeMap<u8, f64>) {
         let is_outdated = self.latest.get(&server).is_some_and(|known| at < known.at);
         if !is_outdated {
             let report = ServerReport {
@@ -83,7 +84,7 @@
     #[must_use]
     pub(crate) fn total(
         &self,
-        now: u64,
+        now: Time,
         servers: impl Iterator<Item = u32>,
         accepts: impl Fn(u8) -> bool,
     ) -> Option<ObservedUsage> {
@@ -91,7 +92,7 @@
         let mut rate_kb = 0.0;
         for server in servers {
             let report = self.latest.get(&server)?;
-            if now.saturating_sub(report.at) > REPORT_TTL {
+            if now.duration_since(report.at) > REPORT_TTL {
                 return None;
             }
             oldest = oldest.min(report.at);
@@ -117,7 +118,7 @@
     mean_usage: f64,
     /// This front's usage at recent updates, oldest first.
     recent_usage: VecDeque<ObservedUsage>,
-    last_demand: Option<u64>,
+    last_demand: Option<Time>,
 }
 
 impl QuotaShare {
@@ -140,15 +141,15 @@
     }
 
     /// A session was held back, or would have been.
-    pub(crate) fn request_more(&mut self, now: u64) {
+    pub(crate) fn request_more(&mut self, now: Time) {
         self.last_demand = Some(now);
     }
 
     /// Whether more was requested recently; then reports of all servers are worth receiving.
     #[must_use]
-    pub(crate) fn has_demand(&self, now: u64) -> bool {
+    pub(crate) fn has_demand(&self, now: Time) -> bool {
         self.last_demand
-            .is_some_and(|at| now.saturating_sub(at) <= DEMAND_DURATION)
+            .is_some_and(|at| now.duration_since(at) <= DEMAND_DURATION)
     }
 
     /// Whether the quota exceeds an equal one, which only reports allow.
@@ -161,7 +162,7 @@
     /// time where every server reported. Returns the quota, 0 to 1.
     pub(crate) fn update(
         &mut self,
-        now: u64,
+        now: Time,
         own_usage: f64,
         all_fronts: Option<ObservedUsage>,
     ) -> f64 {
@@ -182,12 +183,12 @@
         self.quota
     }
 
-    fn record_own_usage(&mut self, now: u64, usage: f64) {
+    fn record_own_usage(&mut self, now: Time, usage: f64) {
         self.mean_usage += MEAN_USAGE_WEIGHT * (usage - self.mean_usage);
         self.recent_usage
             .push_back(ObservedUsage { at: now, usage });
         self.recent_usage
-            .retain(|observed| now.saturating_sub(observed.at) <= 2 * REPORT_TTL);
+            .retain(|observed| now.duration_since(observed.at) <= 2 * REPORT_TTL);
     }
 
     /// This front's usage at the time that a report describes; `None` where no update was near that time.
@@ -195,10 +196,10 @@
     /// Why not the usage now: compared with the total of some seconds ago it gives no meaningful share. A front whose
     /// sessions were just capped took itself for a small one and gave back what it alone had used. Updates and reports are
     /// out of step by up to a second; the larger usage in that time is taken.
-    fn own_usage_near(&self, at: u64) -> Option<f64> {
+    fn own_usage_near(&self, at: Time) -> Option<f64> {
         self.recent_usage
             .iter()
-            .filter(|observed| observed.at.abs_diff(at) <= UPDATE_INTERVAL)
+            .filter(|observed| distance(observed.at, at) <= UPDATE_INTERVAL)
             .map(|observed| observed.usage)
             .reduce(f64::max)
     }
@@ -219,5 +220,9 @@
     }
 }
 
+fn distance(left: Time, right: Time) -> Duration {
+    left.duration_since(right).max(right.duration_since(left))
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/cross-zone-traffic/src/report/build.rs
+++ b/crates/cross-zone-traffic/src/report/build.rs
@@ -1,21 +1,22 @@
 //! Builds the report of a front from its traffic controller.
 use super::names::purpose_name;
 use super::types::{BudgetReport, ByteTotals, FlowReport, TrafficReport};
-use super::{TrafficNames, MILLISECOND};
+use super::{milliseconds, TrafficNames};
 use crate::cross_zone_admission::{BudgetStatus, CapReason};
 use crate::traffic_controller::TrafficController;
 use crate::usage_accounting::{Flow, FlowTotals};
 use crate::windows::Span;
+use crankpaddle_time::Time;
 use std::collections::BTreeMap;
 
 impl TrafficReport {
-    /// The report of a front in a zone, at a time in nanoseconds.
+    /// The report of a front in a zone.
     pub fn of(
         controller: &mut TrafficController,
         front: u32,
         zone: u8,
         names: &TrafficNames,
-        now: u64,
+        now: Time,
     ) -> TrafficReport {
         let budgets = controller
             .budget_statuses(now)
@@ -29,7 +30,7 @@
             .collect();
         TrafficReport {
             front,
-            at_ms: now / MILLISECOND,
+            at_ms: milliseconds(now),
             flows,
             budgets,
             unsettled_sessions: account.unsettled_sessions() as u64,
@@ -79,11 +80,11 @@
     }
 }
 
-fn byte_totals(bytes_by_start: BTreeMap<u64, u64>) -> Vec<ByteTotals> {
+fn byte_totals(bytes_by_start: BTreeMap<Time, u64>) -> Vec<ByteTotals> {
     bytes_by_start
         .into_iter()
         .map(|(start, bytes)| ByteTotals {
-            at_ms: start / MILLISECOND,
+            at_ms: milliseconds(start),
             bytes,
         })
         .collect()
--- a/crates/cross-zone-traffic/src/report/mod.rs
+++ b/crates/cross-zone-traffic/src/report/mod.rs
@@ -5,9 +5,19 @@
 mod saved;
 mod types;
 
+use crankpaddle_time::Time;
+
 pub use merge::merge;
 pub use names::TrafficNames;
 pub use types::{BudgetReport, ByteTotals, FlowReport, TrafficReport};
 
-/// Nanoseconds in a millisecond, the unit of times in reports.
-const MILLISECOND: u64 = crate::SECOND / 1000;
+/// Nanoseconds in a millisecond, the unit of points in time in reports.
+const NANOSECONDS_PER_MILLISECOND: u64 = 1_000_000;
+
+fn milliseconds(time: Time) -> u64 {
+    time.as_nanos() / NANOSECONDS_PER_MILLISECOND
+}
+
+fn time_of(milliseconds: u64) -> Time {
+    Time(milliseconds.saturating_mul(NANOSECONDS_PER_MILLISECOND))
+}
--- a/crates/cross-zone-traffic/src/report/saved.rs
+++ b/crates/cross-zone-traffic/src/report/saved.rs
@@ -1,8 +1,9 @@
 //! Reads back the usage account from a report that a previous incarnation of the front saved.
 use super::names::purpose_of;
 use super::types::{FlowReport, TrafficReport};
-use super::{TrafficNames, MILLISECOND};
+use super::{time_of, TrafficNames};
 use crate::usage_accounting::{Flow, SavedFlow, OTHER_FLOWS};
+use crate::windows::SpanTotal;
 use std::collections::BTreeMap;
 
 impl TrafficReport {
@@ -53,10 +54,10 @@
         self.corrected = self.corrected.saturating_add(report.corrected_bytes);
         self.estimated = self.estimated.saturating_add(report.estimated_bytes);
         self.overstated = self.overstated.saturating_add(report.overstated_bytes);
-        let hours = report
-            .hours
-            .iter()
-            .map(|hour| (hour.at_ms.saturating_mul(MILLISECOND), hour.bytes));
+        let hours = report.hours.iter().map(|hour| SpanTotal {
+            start: time_of(hour.at_ms),
+            bytes: hour.bytes,
+        });
         self.hours.extend(hours);
     }
 }
--- a/crates/cross-zone-traffic/src/traffic_controller/attempts.rs
+++ b/crates/cross-zone-traffic/src/traffic_controller/attempts.rs
@@ -1,10 +1,11 @@
 //! Attempts to set sessions up, as far as traffic is concerned: in progress, established, or failed and not counted yet.
 use crate::usage_accounting::{Flow, Purpose};
-use crate::SECOND;
+use crankpaddle_time::Time;
 use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
-/// The final count of a failed attempt is waited for so long, nanoseconds.
-const FINAL_COUNT_TIMEOUT: u64 = 30 * SECOND;
+/// The final count of a failed attempt is waited for so long.
+const FINAL_COUNT_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// An attempt to set a session up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,7 +38,7 @@
 #[derive(Clone, Copy, Debug)]
 struct FailedAttempt {
     flow: Flow,
-    ended_at: u64,
+    ended_at: Time,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -77,7 +78,7 @@
     }
 
     /// Awaits the final count of an attempt that failed.
-    pub(super) fn await_final_count(&mut self, id: u64, flow: Flow, now: u64) {
+    pub(super) fn await_final_count(&mut self, id: u64, flow: Flow, now: Time) {
         let flow = Flow {
             purpose: Purpose::FailedAttempt,
             ..flow
@@ -92,8 +93,8 @@
     }
 
     /// Removes the failed attempts whose final count is no longer awaited.
-    pub(super) fn remove_expired(&mut self, now: u64) {
+    pub(super) fn remove_expired(&mut self, now: Time) {
         self.failed
-            .retain(|_, attempt| now.saturating_sub(attempt.ended_at) < FINAL_COUNT_TIMEOUT);
+            .retain(|_, attempt| now.duration_since(attempt.ended_at) < FINAL_COUNT_TIMEOUT);
     }
 }
--- a/crates/cross-zone-traffic/src/traffic_controller/config.rs
+++ b/crates/cross-zone-traffic/src/traffic_controller/config.rs
@@ -1,6 +1,7 @@
 //! The configuration of a front's traffic controller.
 use crate::budget::FrontPosition;
 use crate::cross_zone_admission::CrossZoneLimit;
+use std::time::Duration;
 
 /// A class as far as traffic is concerned.
 #[derive(Clone, Debug, PartialEq)]
@@ -22,8 +23,8 @@
     pub classes: Vec<TrafficClass>,
     /// Budgets for what goes from other zones to its own.
     pub limits: Vec<CrossZoneLimit>,
-    /// How late counts and reports of servers are, nanoseconds.
-    pub report_delay: u64,
+    /// How late counts and reports of servers are.
+    pub report_delay: Duration,
 }
 
 impl TrafficConfig {
--- a/crates/cross-zone-traffic/src/traffic_controller/mod.rs
+++ b/crates/cross-zone-traffic/src/traffic_controller/mod.rs
@@ -13,17 +13,18 @@
     BudgetStatus, CapReason, CrossZoneAdmission, PolicyChange, RateCapChanges, SessionStart,
 };
 use crate::usage_accounting::{Flow, Purpose, SavedFlow, UsageAccount, UsageConfig};
-use crate::SECOND;
 use attempts::{ActiveAttempt, Attempts};
+use crankpaddle_time::Time;
 use server_zones::ServerZones;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 /// A count or report is waited for so many times its usual delay ...
-const SETTLE_DELAY_FACTOR: u64 = 3;
-/// ... and this much longer, nanoseconds.
-const SETTLE_DELAY_MARGIN: u64 = 2 * SECOND;
-/// Delivery reports arrive once a second, nanoseconds; a missing one is bridged.
-const DELIVERY_REPORT_TTL: u64 = 2 * SECOND + SECOND / 2;
+const SETTLE_DELAY_FACTOR: u32 = 3;
+/// ... and this much longer.
+const SETTLE_DELAY_MARGIN: Duration = Duration::from_secs(2);
+/// Delivery reports arrive once a second; a missing one is bridged.
+const DELIVERY_REPORT_TTL: Duration = Duration::from_millis(2500);
 /// Flows with totals of their own at most.
 const MAX_FLOWS: usize = 1024;
 /// The mean session length that is assumed at first, seconds.
@@ -71,9 +72,9 @@
         self.config = config;
     }
 
-    /// The time that a report received now describes, nanoseconds.
-    fn described_time(&self, now: u64) -> u64 {
-        now.saturating_sub(self.config.report_delay)
+    /// The time that a report received now describes.
+    fn described_time(&self, now: Time) -> Time {
+        now - self.config.report_delay
     }
 }
 
@@ -114,12 +115,12 @@
     }
 
     /// A server was alive until now, whether or not it still is.
-    pub fn server_alive(&mut self, server: u32, now: u64) {
+    pub fn server_alive(&mut self, server: u32, now: Time) {
         self.servers.record_received(server, now);
     }
 
     /// A message of a server was received, so it is up.
-    pub fn server_connected(&mut self, server: u32, now: u64) {
+    pub fn server_connected(&mut self, server: u32, now: Time) {
         self.server_alive(server, now);
         let Some(zone) = self.servers.zone(server) else {
             return;
@@ -138,7 +139,7 @@
     }
 
     /// A server reports what crosses from it to this front's zone, kB a second by class, all fronts together.
-    pub fn usage_reported(&mut self, server: u32, rate_kb_by_class: BTreeMap<u8, f64>, now: u64) {
+    pub fn usage_reported(&mut self, server: u32, rate_kb_by_class: BTreeMap<u8, f64>, now: Time) {
         self.server_connected(server, now);
         if let Some(zone) = self.servers.zone(server) {
             let at = self.described_time(now);
@@ -148,7 +149,7 @@
     }
 
     /// A server reports what share of all rates it delivers; the report describes the time before its delay.
-    pub fn delivery_reported(&mut self, server: u32, share: f64, now: u64) {
+    pub fn delivery_reported(&mut self, server: u32, share: f64, now: Time) {
         self.server_connected(server, now);
         let at = self.described_time(now);
         self.account.delivery_reported(server, share, at);
@@ -158,7 +159,7 @@
 /// Events of sessions.
 impl TrafficController {
     /// A request of a class arrived.
-    pub fn session_requested(&mut self, class: u8, now: u64) {
+    pub fn session_requested(&mut self, class: u8, now: Time) {
         self.admission.session_requested(now, class);
     }
 
@@ -181,7 +182,7 @@
     }
 
     /// An attempt became a session.
-    pub fn session_established(&mut self, id: u64, now: u64) {
+    pub fn session_established(&mut self, id: u64, now: Time) {
         let Some(ActiveAttempt { usage, flow, .. }) = self.attempts.establish(id) else {
             return;
         };
@@ -211,7 +212,7 @@
     }
 
     /// The rung of a session changed.
-    pub fn rung_changed(&mut self, id: u64, rung: u8, now: u64) {
+    pub fn rung_changed(&mut self, id: u64, rung: u8, now: Time) {
         let Some(attempt) = self.attempts.get(id) else {
             return;
         };
@@ -222,7 +223,7 @@
 
     /// An attempt or session ended. `server_lost`: its server is lost and will send no final count; then the session flowed
     /// until the server was last received from.
-    pub fn attempt_ended(&mut self, id: u64, server_lost: bool, now: u64) {
+    pub fn attempt_ended(&mut self, id: u64, server_lost: bool, now: Time) {
         let Some(attempt) = self.attempts.remove(id) else {
             return;
         };
@@ -240,7 +241,7 @@
     }
 
     /// A server counted so many bytes for a session; the count describes the time before its delay.
-    pub fn bytes_counted(&mut self, id: u64, bytes: u64, now: u64) {
+    pub fn bytes_counted(&mut self, id: u64, bytes: u64, now: Time) {
         if self.attempts.is_established(id) {
             let at = self.described_time(now);
             self.account.bytes_counted(id, bytes, at);
@@ -248,7 +249,7 @@
     }
 
     /// A server's final count of an attempt or session: all bytes that it sent.
-    pub fn final_bytes_counted(&mut self, id: u64, bytes: u64, now: u64) {
+    pub fn final_bytes_counted(&mut self, id: u64, bytes: u64, now: Time) {
         match self.attempts.take_failed(id) {
             Some(flow) => self.account.add_measured(flow, bytes, now),
             None => self.account.final_bytes_counted(id, bytes),
@@ -260,13 +261,13 @@
 impl TrafficController {
     /// How classes may be served from zones, where that changed since the previous call. Notify the placement module of it
     /// before a request is placed.
-    pub fn policy_changes(&mut self, now: u64) -> Vec<PolicyChange> {
+    pub fn policy_changes(&mut self, now: Time) -> Vec<PolicyChange> {
         self.admission.policy_changes(now)
     }
 
     /// Zones all of whose servers' reports this front needs now.
     #[must_use]
-    pub fn zones_observed(&self, now: u64) -> BTreeSet<u8> {
+    pub fn zones_observed(&self, now: Time) -> BTreeSet<u8> {
         self.admission.zones_observed(now)
     }
 
@@ -277,13 +278,13 @@
     }
 
     /// Updates quotas and returns which sessions are to be capped or uncapped; call it about once a second.
-    pub fn tick(&mut self, now: u64) -> RateCapChanges {
+    pub fn tick(&mut self, now: Time) -> RateCapChanges {
         self.attempts.remove_expired(now);
         self.admission.tick(now)
     }
 
     /// Settles up to `max_sessions` sessions; true when that completed a round.
-    pub fn settle_usage(&mut self, now: u64, max_sessions: usize) -> bool {
+    pub fn settle_usage(&mut self, now: Time, max_sessions: usize) -> bool {
         self.account.settle(now, max_sessions)
     }
 
@@ -302,7 +303,7 @@
     }
 
     /// The state of each budget.
-    pub fn budget_statuses(&mut self, now: u64) -> Vec<BudgetStatus> {
+    pub fn budget_statuses(&mut self, now: Time) -> Vec<BudgetStatus> {
         self.admission.budget_statuses(now)
     }
 }
--- a/crates/cross-zone-traffic/src/traffic_controller/server_zones.rs
+++ b/crates/cross-zone-traffic/src/traffic_controller/server_zones.rs
@@ -1,11 +1,12 @@
 //! The servers that a front knows: their zones, which of them are up, and when each was last received from.
+use crankpaddle_time::Time;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 #[derive(Clone, Debug, Default)]
 pub(super) struct ServerZones {
     zone_by_server: HashMap<u32, u8>,
     up_by_zone: BTreeMap<u8, BTreeSet<u32>>,
-    last_received: HashMap<u32, u64>,
+    last_received: HashMap<u32, Time>,
 }
 
 impl ServerZones {
@@ -59,12 +60,12 @@
             .collect()
     }
 
-    pub(super) fn record_received(&mut self, server: u32, now: u64) {
+    pub(super) fn record_received(&mut self, server: u32, now: Time) {
         self.last_received.insert(server, now);
     }
 
-    /// When a server was last received from, nanoseconds.
-    pub(super) fn last_received(&self, server: u32) -> Option<u64> {
+    /// When a server was last received from.
+    pub(super) fn last_received(&self, server: u32) -> Option<Time> {
         self.last_received.get(&server).copied()
     }
 }
--- a/crates/cross-zone-traffic/src/usage_accounting/delivery_reports.rs
+++ b/crates/cross-zone-traffic/src/usage_accounting/delivery_reports.rs
@@ -1,12 +1,15 @@
 //! What servers reported about the share of all rates that they deliver.
+use crankpaddle_time::Time;
 use std::collections::{BTreeMap, HashMap};
+use std::ops::Bound;
+use std::time::Duration;
 
 /// Reported delivery shares, by server and by the time that each report describes.
 #[derive(Clone, Debug)]
 pub(super) struct DeliveryReports {
-    /// A report holds until the next one, but no longer than this, nanoseconds.
-    time_to_live: u64,
-    by_server: HashMap<u32, BTreeMap<u64, f64>>,
+    /// A report holds until the next one, but no longer than this.
+    time_to_live: Duration,
+    by_server: HashMap<u32, BTreeMap<Time, f64>>,
 }
 
 /// The delivery share in force at a time.
@@ -14,12 +17,12 @@
 pub(super) struct DeliveryShare {
     /// The share, 0 to 1; `None` where no report covers the time.
     pub(super) share: Option<f64>,
-    /// Until when this holds, nanoseconds.
-    pub(super) valid_until: u64,
+    /// Until when this holds.
+    pub(super) valid_until: Time,
 }
 
 impl DeliveryReports {
-    pub(super) fn new(time_to_live: u64) -> DeliveryReports {
+    pub(super) fn new(time_to_live: Duration) -> DeliveryReports {
         DeliveryReports {
             time_to_live,
             by_server: HashMap::new(),
@@ -27,14 +30,14 @@
     }
 
     /// Records a share, 0 to 1, that a server delivered at a time.
-    pub(super) fn record(&mut self, server: u32, share: f64, at: u64) {
+    pub(super) fn record(&mut self, server: u32, share: f64, at: Time) {
         self.by_server.entry(server).or_default().insert(at, share);
     }
 
     /// Removes the reports that no longer hold at the settlement horizon.
-    pub(super) fn prune(&mut self, horizon: u64) {
+    pub(super) fn prune(&mut self, horizon: Time) {
         // The last report before the horizon may still hold.
-        let oldest_needed = horizon.saturating_sub(self.time_to_live);
+        let oldest_needed = horizon - self.time_to_live;
         self.by_server.retain(|_, reports| {
             *reports = reports.split_off(&oldest_needed);
             !reports.is_empty()
@@ -42,21 +45,21 @@
     }
 
     /// The share that a server delivered at a time.
-    pub(super) fn share_at(&self, server: u32, at: u64) -> DeliveryShare {
+    pub(super) fn share_at(&self, server: u32, at: Time) -> DeliveryShare {
         let Some(reports) = self.by_server.get(&server) else {
             return DeliveryShare {
                 share: None,
-                valid_until: u64::MAX,
+                valid_until: Time::MAX,
             };
         };
         let next_report = reports
-            .range(at + 1..)
+            .range((Bound::Excluded(at), Bound::Unbounded))
             .next()
-            .map_or(u64::MAX, |(reported_at, _)| *reported_at);
+            .map_or(Time::MAX, |(reported_at, _)| *reported_at);
         match reports.range(..=at).next_back() {
-            Some((reported_at, share)) if at < reported_at + self.time_to_live => DeliveryShare {
+            Some((reported_at, share)) if at < *reported_at + self.time_to_live => DeliveryShare {
                 share: Some(*share),
-                valid_until: next_report.min(reported_at + self.time_to_live),
+                valid_until: next_report.min(*reported_at + self.time_to_live),
             },
             _ => DeliveryShare {
                 share: None,
--- a/crates/cross-zone-traffic/src/usage_accounting/flow.rs
+++ b/crates/cross-zone-traffic/src/usage_accounting/flow.rs
@@ -1,5 +1,6 @@
 //! Flows: where bytes went and for whom, and their totals by how the bytes are known.
-use crate::windows::{Span, Windows};
+use crate::windows::{Span, SpanTotal, Windows};
+use crankpaddle_time::Time;
 use std::collections::BTreeMap;
 
 /// What the bytes of an attempt were used for.
@@ -97,12 +98,12 @@
 
     /// Bytes of the recent spans in which there were any, by the start of the span.
     #[must_use]
-    pub fn recent(&self, span: Span) -> BTreeMap<u64, u64> {
+    pub fn recent(&self, span: Span) -> BTreeMap<Time, u64> {
         let mut bytes_by_start = BTreeMap::new();
         for windows in self.sources() {
-            for (start, bytes) in windows.recent(span) {
-                if bytes > 0 {
-                    add_saturating(&mut bytes_by_start, start, bytes);
+            for total in windows.recent(span) {
+                if total.bytes > 0 {
+                    add_saturating(&mut bytes_by_start, total.start, total.bytes);
                 }
             }
         }
@@ -112,8 +113,8 @@
     /// Replaces the totals by saved ones. The saved hours of all sources are added to the windows of measured bytes:
     /// hours are only reported as sums over all sources, while the totals of the sources are separate.
     pub(super) fn restore(&mut self, saved: &SavedFlow) {
-        for (start, bytes) in &saved.hours {
-            self.measured.add(*start, *bytes);
+        for hour in &saved.hours {
+            self.measured.add(hour.start, hour.bytes);
         }
         self.measured.set_total(saved.measured);
         self.corrected.set_total(saved.corrected);
@@ -123,7 +124,7 @@
 }
 
 /// Adds to the total of a span, which stays at the maximum rather than overflow.
-pub(super) fn add_saturating(bytes_by_start: &mut BTreeMap<u64, u64>, start: u64, bytes: u64) {
+pub(super) fn add_saturating(bytes_by_start: &mut BTreeMap<Time, u64>, start: Time, bytes: u64) {
     let total = bytes_by_start.entry(start).or_default();
     *total = total.saturating_add(bytes);
 }
@@ -141,8 +142,8 @@
     pub estimated: u64,
     /// Bytes that were settled and never sent.
     pub overstated: u64,
-    /// Start of each recent hour, nanoseconds, and its bytes of all three sources.
-    pub hours: Vec<(u64, u64)>,
+    /// Recent hours, with the bytes of all three sources.
+    pub hours: Vec<SpanTotal>,
 }
 
 impl SavedFlow {
@@ -153,7 +154,11 @@
             corrected: totals.corrected.total(),
             estimated: totals.estimated.total(),
             overstated: totals.overstated,
-            hours: totals.recent(Span::Hour).into_iter().collect(),
+            hours: totals
+                .recent(Span::Hour)
+                .into_iter()
+                .map(|(start, bytes)| SpanTotal { start, bytes })
+                .collect(),
         }
     }
 }
--- a/crates/cross-zone-traffic/src/usage_accounting/mod.rs
+++ b/crates/cross-zone-traffic/src/usage_accounting/mod.rs
@@ -14,19 +14,21 @@
 pub use flow::{Flow, FlowTotals, Purpose, SavedFlow, OTHER_FLOWS};
 
 use crate::windows::Span;
+use crankpaddle_time::Time;
 use delivery_reports::DeliveryReports;
 use flow::TotalsByFlow;
 use session_usage::SessionUsage;
 use std::collections::BTreeMap;
 use std::ops::Bound;
+use std::time::Duration;
 
-/// How usage is accounted. Times in nanoseconds.
+/// How usage is accounted.
 #[derive(Clone, Copy, Debug)]
 pub struct UsageConfig {
     /// Bytes are settled at this age: the latest that a count or report is waited for.
-    pub settle_delay: u64,
+    pub settle_delay: Duration,
     /// A delivery report holds until the next, but no longer than this.
-    pub delivery_report_ttl: u64,
+    pub delivery_report_ttl: Duration,
     /// Flows with totals of their own; those beyond are counted under [`OTHER_FLOWS`].
     pub max_flows: usize,
 }
@@ -38,7 +40,7 @@
     totals: TotalsByFlow,
     sessions: BTreeMap<u64, SessionUsage>,
     delivery: DeliveryReports,
-    now: u64,
+    now: Time,
     dropped_late_reports: u64,
     /// The session that was settled last in the present round.
     last_settled: Option<u64>,
@@ -52,7 +54,7 @@
             totals: TotalsByFlow::new(config.max_flows),
             sessions: BTreeMap::new(),
             delivery: DeliveryReports::new(config.delivery_report_ttl),
-            now: 0,
+            now: Time::ZERO,
             dropped_late_reports: 0,
             last_settled: None,
             config,
@@ -66,7 +68,7 @@
         flow: Flow,
         server: u32,
         rate_kb: f64,
-        at: u64,
+        at: Time,
     ) {
         let at = self.advance_clock(at);
         self.sessions
@@ -75,7 +77,7 @@
     }
 
     /// The rate of a session changes.
-    pub fn rate_changed(&mut self, session: u64, rate_kb: f64, at: u64) {
+    pub fn rate_changed(&mut self, session: u64, rate_kb: f64, at: Time) {
         let at = self.advance_clock(at);
         if let Some(usage) = self.sessions.get_mut(&session) {
             usage.change_rate(rate_kb, at);
@@ -83,7 +85,7 @@
     }
 
     /// A server counted so many bytes in all for a session, by a time.
-    pub fn bytes_counted(&mut self, session: u64, bytes: u64, at: u64) {
+    pub fn bytes_counted(&mut self, session: u64, bytes: u64, at: Time) {
         let at = self.advance_clock(at);
         match self.sessions.get_mut(&session) {
             Some(usage) => usage.record_count(bytes, at, &self.delivery),
@@ -92,7 +94,7 @@
     }
 
     /// A session ends. It is retained until a count of its end would have arrived.
-    pub fn session_ended(&mut self, session: u64, at: u64) {
+    pub fn session_ended(&mut self, session: u64, at: Time) {
         let at = self.advance_clock(at);
         if let Some(usage) = self.sessions.get_mut(&session) {
             usage.end(at);
@@ -108,7 +110,7 @@
     }
 
     /// Adds bytes that belong to no session, sent by a time: those of a failed attempt.
-    pub fn add_measured(&mut self, flow: Flow, bytes: u64, at: u64) {
+    pub fn add_measured(&mut self, flow: Flow, bytes: u64, at: Time) {
         let at = self.advance_clock(at);
         if bytes > 0 {
             self.totals.entry(flow).measured.add(at, bytes);
@@ -117,8 +119,8 @@
 
     /// A server reports the share of all rates that it delivered at a time. A duplicate changes nothing, and the order of
     /// reports does not matter.
-    pub fn delivery_reported(&mut self, server: u32, share: f64, at: u64) {
-        let latest_accepted = self.now.saturating_add(self.config.settle_delay);
+    pub fn delivery_reported(&mut self, server: u32, share: f64, at: Time) {
+        let latest_accepted = self.now + self.config.settle_delay;
         if !share.is_finite() || at > latest_accepted {
             return;
         }
@@ -132,7 +134,7 @@
     /// Settles what is old enough, `max_sessions` at a time so that a call takes bounded time whatever the number of
     /// sessions; true when the round is complete. Call it until it is, about once a second. A time that goes back changes
     /// nothing.
-    pub fn settle(&mut self, now: u64, max_sessions: usize) -> bool {
+    pub fn settle(&mut self, now: Time, max_sessions: usize) -> bool {
         self.advance_clock(now);
         let horizon = self.settle_horizon();
         let visited = self.settle_next_sessions(horizon, max_sessions);
@@ -145,7 +147,7 @@
     }
 
     /// Settles the next sessions of the round and removes those that are over; the number of sessions visited.
-    fn settle_next_sessions(&mut self, horizon: u64, max_sessions: usize) -> usize {
+    fn settle_next_sessions(&mut self, horizon: Time, max_sessions: usize) -> usize {
         let after_last = self.last_settled.map_or(Bound::Unbounded, Bound::Excluded);
         let next_sessions = self
             .sessions
@@ -168,13 +170,13 @@
     }
 
     /// Advances the clock, which never goes back; the time, but none that is settled already.
-    fn advance_clock(&mut self, at: u64) -> u64 {
+    fn advance_clock(&mut self, at: Time) -> Time {
         self.now = self.now.max(at);
         at.max(self.settle_horizon())
     }
 
-    fn settle_horizon(&self) -> u64 {
-        self.now.saturating_sub(self.config.settle_delay)
+    fn settle_horizon(&self) -> Time {
+        self.now - self.config.settle_delay
     }
 
     /// Flows and their settled bytes.
@@ -192,7 +194,7 @@
 
     /// Bytes of recent spans, by the start of the span, of the flows that a filter accepts.
     #[must_use]
-    pub fn recent(&self, span: Span, accepts: impl Fn(&Flow) -> bool) -> BTreeMap<u64, u64> {
+    pub fn recent(&self, span: Span, accepts: impl Fn(&Flow) -> bool) -> BTreeMap<Time, u64> {
         let mut bytes_by_start = BTreeMap::new();
         for (_, totals) in self.flows().filter(|(flow, _)| accepts(flow)) {
             for (start, bytes) in totals.recent(span) {
--- a/crates/cross-zone-traffic/src/usage_accounting/session_usage.rs
+++ b/crates/cross-zone-traffic/src/usage_accounting/session_usage.rs
@@ -1,22 +1,28 @@
 //! The bytes of one session: its rates, the counts of its server, and how far both are settled.
 use super::delivery_reports::DeliveryReports;
 use super::flow::{ByteSource, Flow, TotalsByFlow};
-use crate::{BYTES_PER_KB, SECOND};
+use crate::{BYTES_PER_KB, NANOSECONDS_PER_SECOND};
+use crankpaddle_time::{nanoseconds, Time};
+use std::time::Duration;
 
 /// Unsettled counts cached for a session. Counts are cumulative, so the oldest can go when there are more.
 const MAX_UNSETTLED_COUNTS: usize = 16;
+/// A settlement step lasts no longer than until the next full second, since totals are kept by second.
+const SECOND: Duration = Duration::from_secs(1);
+/// The smallest distance between two points in time; no step is shorter.
+const SMALLEST_STEP: Duration = Duration::from_nanos(1);
 
 /// A rate that is in force from a time on.
 #[derive(Clone, Copy, Debug)]
 struct RateChange {
-    at: u64,
+    at: Time,
     rate_kb: f64,
 }
 
 /// A cumulative count: what the server had sent by a time.
 #[derive(Clone, Copy, Debug)]
 struct CumulativeCount {
-    at: u64,
+    at: Time,
     bytes: u64,
 }
 
@@ -30,12 +36,12 @@
     /// By time; those after `settled_until`.
     unsettled_counts: Vec<CumulativeCount>,
     /// Bytes up to this time are in the totals.
-    settled_until: u64,
+    settled_until: Time,
     /// Bytes that are in the totals.
     settled_bytes: u64,
     /// The fraction of a byte that is not in the totals yet.
     byte_fraction: f64,
-    ended_at: Option<u64>,
+    ended_at: Option<Time>,
     final_bytes: Option<u64>,
 }
 
@@ -44,13 +50,13 @@
 struct RateEstimate {
     rate_kb: f64,
     source: ByteSource,
-    valid_until: u64,
+    valid_until: Time,
 }
 
 /// The bytes between `settled_until` and the end of a settlement step.
 #[derive(Clone, Copy, Debug)]
 struct SettlementStep {
-    end: u64,
+    end: Time,
     bytes: f64,
     source: ByteSource,
     /// Whether the step ends exactly at a count.
@@ -58,7 +64,7 @@
 }
 
 impl SessionUsage {
-    pub(super) fn new(flow: Flow, server: u32, rate_kb: f64, at: u64) -> SessionUsage {
+    pub(super) fn new(flow: Flow, server: u32, rate_kb: f64, at: Time) -> SessionUsage {
         let rate_kb = rate_kb.max(0.0);
         SessionUsage {
             flow,
@@ -74,7 +80,7 @@
     }
 
     /// Changes the rate of a session that has not ended.
-    pub(super) fn change_rate(&mut self, rate_kb: f64, at: u64) {
+    pub(super) fn change_rate(&mut self, rate_kb: f64, at: Time) {
         if self.ended_at.is_none() {
             let rate_kb = rate_kb.max(0.0);
             self.rates.push(RateChange { at, rate_kb });
@@ -82,12 +88,12 @@
     }
 
     /// Records a cumulative count; nothing after the final one.
-    pub(super) fn record_count(&mut self, bytes: u64, at: u64, delivery: &DeliveryReports) {
+    pub(super) fn record_count(&mut self, bytes: u64, at: Time, delivery: &DeliveryReports) {
         if self.final_bytes.is_some() {
             return;
         }
         // A count of a time that is settled already is brought forward by the estimate of what flowed since.
-        let effective_at = at.max(self.settled_until + 1);
+        let effective_at = at.max(self.settled_until + SMALLEST_STEP);
         let flowed_since = self.estimated_bytes(at, effective_at, delivery);
         self.insert_count(CumulativeCount {
             at: effective_at,
@@ -118,7 +124,7 @@
     }
 
     /// Ends the session; a second end changes nothing.
-    pub(super) fn end(&mut self, at: u64) {
+    pub(super) fn end(&mut self, at: Time) {
         self.ended_at = self.ended_at.or(Some(at.max(self.settled_until)));
     }
 
@@ -130,14 +136,14 @@
     }
 
     /// Whether the session ended at or before a time.
-    pub(super) fn has_ended_by(&self, horizon: u64) -> bool {
+    pub(super) fn has_ended_by(&self, horizon: Time) -> bool {
         self.ended_at.is_some_and(|end| end <= horizon)
     }
 
     /// Settles the session up to the horizon or its end.
     pub(super) fn settle(
         &mut self,
-        horizon: u64,
+        horizon: Time,
         delivery: &DeliveryReports,
         totals: &mut TotalsByFlow,
     ) {
@@ -159,21 +165,22 @@
             return;
         };
         self.unsettled_counts.retain(|count| count.at < end);
-        let at = end.max(self.settled_until + 1);
+        let at = end.max(self.settled_until + SMALLEST_STEP);
         self.unsettled_counts.push(CumulativeCount { at, bytes });
     }
 
     /// The next step: no longer than until the next second, count, rate change or delivery report.
-    fn next_step(&self, until: u64, delivery: &DeliveryReports) -> SettlementStep {
+    fn next_step(&self, until: Time, delivery: &DeliveryReports) -> SettlementStep {
         let start = self.settled_until;
-        let next_second = (start / SECOND + 1) * SECOND;
+        let next_second = next_second_after(start);
         let next_count = self.unsettled_counts.iter().find(|count| count.at > start);
         if let Some(count) = next_count {
             let end = until.min(count.at).min(next_second);
             let remaining = count.bytes.saturating_sub(self.settled_bytes) as f64;
             return SettlementStep {
                 end,
-                bytes: remaining * (end - start) as f64 / (count.at - start) as f64,
+                bytes: remaining * float_nanoseconds(start, end)
+                    / float_nanoseconds(start, count.at),
                 source: ByteSource::Measured,
                 ends_at_count: count.at == end,
             };
@@ -182,7 +189,7 @@
         let end = until
             .min(estimate.valid_until)
             .min(next_second)
-            .max(start + 1);
+            .max(start + SMALLEST_STEP);
         SettlementStep {
             end,
             bytes: bytes_between(estimate.rate_kb, start, end),
@@ -237,7 +244,7 @@
         &mut self,
         totals: &mut TotalsByFlow,
         source: ByteSource,
-        at: u64,
+        at: Time,
         bytes: u64,
     ) {
         // Why: a flow without bytes must not take one of the bounded number of flows.
@@ -248,19 +255,19 @@
         self.settled_bytes = self.settled_bytes.saturating_add(bytes);
     }
 
-    fn rate_index_at(&self, at: u64) -> usize {
+    fn rate_index_at(&self, at: Time) -> usize {
         self.rates
             .iter()
             .rposition(|rate| rate.at <= at)
             .unwrap_or(0)
     }
 
-    fn estimate_at(&self, at: u64, delivery: &DeliveryReports) -> RateEstimate {
+    fn estimate_at(&self, at: Time, delivery: &DeliveryReports) -> RateEstimate {
         let index = self.rate_index_at(at);
         let next_change = self
             .rates
             .get(index + 1)
-            .map_or(u64::MAX, |change| change.at);
+            .map_or(Time::MAX, |change| change.at);
         let rung_rate_kb = self.rates.get(index).map_or(0.0, |change| change.rate_kb);
         let delivered = delivery.share_at(self.server, at);
         RateEstimate {
@@ -275,13 +282,13 @@
     }
 
     /// Estimated bytes between two times.
-    fn estimated_bytes(&self, from: u64, to: u64, delivery: &DeliveryReports) -> f64 {
+    fn estimated_bytes(&self, from: Time, to: Time, delivery: &DeliveryReports) -> f64 {
         let to = self.ended_at.map_or(to, |end| end.min(to));
         let mut at = from;
         let mut bytes = 0.0;
         while at < to {
             let estimate = self.estimate_at(at, delivery);
-            let step_end = to.min(estimate.valid_until).max(at + 1);
+            let step_end = to.min(estimate.valid_until).max(at + SMALLEST_STEP);
             bytes += bytes_between(estimate.rate_kb, at, step_end);
             at = step_end;
         }
@@ -289,6 +296,15 @@
     }
 }
 
-fn bytes_between(rate_kb: f64, from: u64, to: u64) -> f64 {
-    rate_kb * BYTES_PER_KB * (to - from) as f64 / SECOND as f64
+fn bytes_between(rate_kb: f64, from: Time, to: Time) -> f64 {
+    rate_kb * BYTES_PER_KB * float_nanoseconds(from, to) / NANOSECONDS_PER_SECOND
+}
+
+fn float_nanoseconds(from: Time, to: Time) -> f64 {
+    nanoseconds(to.duration_since(from)) as f64
+}
+
+fn next_second_after(at: Time) -> Time {
+    let second = nanoseconds(SECOND);
+    Time((at.as_nanos() / second + 1) * second)
 }
--- a/crates/cross-zone-traffic/src/windows.rs
+++ b/crates/cross-zone-traffic/src/windows.rs
@@ -1,6 +1,10 @@
 //! Byte totals of recent seconds, minutes and hours, in bounded memory.
-use crate::SECOND;
+use crankpaddle_time::{nanoseconds, Time};
+use std::time::Duration;
 
+const SECOND: Duration = Duration::from_secs(1);
+const MINUTE: Duration = Duration::from_secs(60);
+const HOUR: Duration = Duration::from_secs(60 * 60);
 /// Seconds whose totals are retained.
 const RETAINED_SECONDS: usize = 120;
 /// Minutes whose totals are retained.
@@ -11,8 +15,8 @@
 /// A ring buffer of byte totals, one for each recent span of time.
 #[derive(Clone, Debug)]
 struct Ring {
-    /// Length of a span, nanoseconds.
-    span: u64,
+    /// Length of a span.
+    span: Duration,
     /// The total of span `n` is at `n` modulo the number of totals.
     totals: Vec<u64>,
     /// Number of the newest span.
@@ -20,7 +24,7 @@
 }
 
 impl Ring {
-    fn new(span: u64, retained: usize) -> Ring {
+    fn new(span: Duration, retained: usize) -> Ring {
         Ring {
             span,
             totals: vec![0; retained],
@@ -36,8 +40,8 @@
         (number % self.retained()) as usize
     }
 
-    fn add(&mut self, at: u64, bytes: u64) {
-        let number = at / self.span;
+    fn add(&mut self, at: Time, bytes: u64) {
+        let number = at.as_nanos() / nanoseconds(self.span);
         if number > self.newest {
             self.advance_to(number);
         }
@@ -57,11 +61,14 @@
         self.newest = number;
     }
 
-    /// Start and total of each span, oldest first.
-    fn recent(&self) -> Vec<(u64, u64)> {
+    /// The recent spans, oldest first.
+    fn recent(&self) -> Vec<SpanTotal> {
         let oldest = (self.newest + 1).saturating_sub(self.retained());
         (oldest..=self.newest)
-            .map(|number| (number * self.span, self.totals[self.index(number)]))
+            .map(|number| SpanTotal {
+                start: Time(number * nanoseconds(self.span)),
+                bytes: self.totals[self.index(number)],
+            })
             .collect()
     }
 }
@@ -77,6 +84,15 @@
     Hour,
 }
 
+/// The bytes of one span.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SpanTotal {
+    /// When the span starts.
+    pub start: Time,
+    /// Bytes sent in it.
+    pub bytes: u64,
+}
+
 /// Bytes of one flow over recent spans, and in all.
 #[derive(Clone, Debug)]
 pub struct Windows {
@@ -90,8 +106,8 @@
     fn default() -> Windows {
         Windows {
             seconds: Ring::new(SECOND, RETAINED_SECONDS),
-            minutes: Ring::new(60 * SECOND, RETAINED_MINUTES),
-            hours: Ring::new(3600 * SECOND, RETAINED_HOURS),
+            minutes: Ring::new(MINUTE, RETAINED_MINUTES),
+            hours: Ring::new(HOUR, RETAINED_HOURS),
             total: 0,
         }
     }
@@ -99,7 +115,7 @@
 
 impl Windows {
     /// Adds bytes that were sent at a time; those of a time older than the retained spans count in the total only.
-    pub fn add(&mut self, at: u64, bytes: u64) {
+    pub fn add(&mut self, at: Time, bytes: u64) {
         self.seconds.add(at, bytes);
         self.minutes.add(at, bytes);
         self.hours.add(at, bytes);
@@ -117,9 +133,9 @@
         self.total = total;
     }
 
-    /// The recent spans, oldest first: the start of each, nanoseconds, and its bytes.
+    /// The recent spans, oldest first.
     #[must_use]
-    pub fn recent(&self, span: Span) -> Vec<(u64, u64)> {
+    pub fn recent(&self, span: Span) -> Vec<SpanTotal> {
         match span {
             Span::Second => self.seconds.recent(),
             Span::Minute => self.minutes.recent(),
--- a/crates/cross-zone-traffic/tests/cross_zone_admission.rs
+++ b/crates/cross-zone-traffic/tests/cross_zone_admission.rs
@@ -3,18 +3,21 @@
 use crankpaddle_cross_zone_traffic::cross_zone_admission::{
     CapReason, CrossZoneAdmission, CrossZoneLimit, CrossZonePolicy, PolicyChange, SessionStart,
 };
+use crankpaddle_time::Time;
 use oorandom::Rand64;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
 
-const SECOND: u64 = 1_000_000_000;
+const SECOND: Duration = Duration::from_secs(1);
+const NANOSECONDS_PER_SECOND: f64 = 1e9;
 const RATE_KB: f64 = 40_000.0;
 /// Thirty seconds of the rate: with 240 fronts a quota of it is still some sessions.
 const SHARED: SharedBudget = SharedBudget {
     rate_kb: RATE_KB,
     burst: 1.2e9,
     volume: f64::INFINITY,
-    period: 0,
-    repay: 60 * SECOND,
+    period: None,
+    repay: Duration::from_secs(60),
 };
 /// Rates that sessions request.
 const KB: [f64; 3] = [100.0, 250.0, 600.0];
@@ -62,7 +65,7 @@
 }
 
 struct Playing {
-    end: u64,
+    end: Time,
     front: usize,
     server: u32,
     session: u64,
@@ -73,11 +76,11 @@
 struct Simulation {
     fronts: Vec<CrossZoneAdmission>,
     playing: Vec<Playing>,
-    reports: VecDeque<(u64, Vec<BTreeMap<u8, f64>>)>, // When sent, and by server.
-    delay: u64,
+    reports: VecDeque<(Time, Vec<BTreeMap<u8, f64>>)>, // When sent, and by server.
+    delay: Duration,
     rng: Rand64,
     next: u64,
-    now: u64,
+    now: Time,
     // What crossed in all, held against the whole budget by the same algorithm: bytes ahead, and the most of them over
     // the burst since it was last cleared. At 1 the fronts together have just used the burst that they may.
     ahead: f64,
@@ -107,7 +110,7 @@
             delay: 3 * SECOND / 2,
             rng: Rand64::new(seed.into()),
             next: 0,
-            now: 1000 * SECOND,
+            now: Time::ZERO + 1000 * SECOND,
             ahead: 0.0,
             worst: 0.0,
         }
@@ -123,7 +126,7 @@
         while self
             .reports
             .front()
-            .is_some_and(|(at, _)| at + self.delay <= self.now)
+            .is_some_and(|(at, _)| *at + self.delay <= self.now)
         {
             let Some((at, by_server)) = self.reports.pop_front() else {
                 break;
@@ -214,10 +217,10 @@
         );
         self.next += 1;
         self.fronts[front].session_started(self.now, start(self.next, class, kb));
-        let length = (-12.0 * (1.0 - self.rng.rand_float()).ln() * SECOND as f64) as u64;
+        let length = -12.0 * (1.0 - self.rng.rand_float()).ln() * NANOSECONDS_PER_SECOND;
         let server = (self.next % u64::from(SERVERS)) as u32;
         self.playing.push(Playing {
-            end: self.now + length,
+            end: self.now + Duration::from_nanos(length as u64),
             front,
             server,
             session: self.next,
@@ -368,7 +371,7 @@
 #[test]
 fn relief_caps_the_dearest_previews_first_never_paid_sessions_and_lifts_caps_one_at_a_time() {
     let mut admission = single_front(&[limit(1, SHARED)], 1);
-    let now = 1000 * SECOND;
+    let now = Time::ZERO + 1000 * SECOND;
     for (session, kb) in [(1, 100.0), (2, 600.0), (3, 250.0)] {
         admission.session_started(now, start(session, PREVIEW, kb));
     }
@@ -414,7 +417,7 @@
 #[test]
 fn only_changed_policies_are_returned_and_a_removed_budget_allows_its_zone() {
     let mut admission = single_front(&[limit(1, SHARED)], 1);
-    let now = 1000 * SECOND;
+    let now = Time::ZERO + 1000 * SECOND;
     assert_eq!(admission.policy_changes(now), []);
     (0..400).for_each(|n| {
         admission.session_started(now, start(n, PAID, 600.0));
@@ -482,7 +485,7 @@
         limit(1, SHARED),
     ];
     let mut admission = single_front(&limits, 1);
-    let now = 1000 * SECOND;
+    let now = Time::ZERO + 1000 * SECOND;
     assert_eq!(admission.session_started(now, start(1, PAID, 600.0)), 0.0);
     assert_eq!(
         (
@@ -513,7 +516,7 @@
         )],
         3,
     );
-    let now = 1000 * SECOND;
+    let now = Time::ZERO + 1000 * SECOND;
     assert_eq!(
         (
             admission.policy(now, 1, PREVIEW),
@@ -539,7 +542,7 @@
         rate_kb: 1e6,
         burst: 1e12,
         volume: 3e6,
-        period: 60 * SECOND,
+        period: Some(60 * SECOND),
         repay: 60 * SECOND,
     };
     let mut budget = Budget::new(
@@ -549,7 +552,7 @@
             replica_count: 3,
         },
     );
-    let now = 6000 * SECOND;
+    let now = Time::ZERO + 6000 * SECOND;
     assert!(
         budget.conforms(now, 1e6) && !budget.conforms(now, 1.1e6),
         "a third of the volume"
--- a/crates/cross-zone-traffic/tests/report_digits.rs
+++ b/crates/cross-zone-traffic/tests/report_digits.rs
@@ -5,14 +5,16 @@
 use crankpaddle_cross_zone_traffic::traffic_controller::{
     AttemptUsage, TrafficClass, TrafficConfig, TrafficController,
 };
+use crankpaddle_time::Time;
 use oorandom::Rand64;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-const SECOND: u64 = 1_000_000_000;
-const START: u64 = 1_000_000 * SECOND;
+const SECOND: Duration = Duration::from_secs(1);
+const START: Time = Time(1_000_000 * 1_000_000_000);
 const SERVERS: u32 = 9;
 const CLASSES: u8 = 3;
-const SIMULATED_SECONDS: u64 = 400;
+const SIMULATED_SECONDS: u32 = 400;
 
 /// FNV-1a, 64 bits.
 fn digest(text: &str) -> u64 {
@@ -36,7 +38,7 @@
         rate_kb,
         burst: rate_kb * 7000.0,
         volume,
-        period: 50 * SECOND,
+        period: Some(50 * SECOND),
         repay: 20 * SECOND,
     };
     CrossZoneLimit {
@@ -105,7 +107,7 @@
         self.random.rand_range(0..end)
     }
 
-    fn start_attempt(&mut self, now: u64) {
+    fn start_attempt(&mut self, now: Time) {
         self.next_id += 1;
         let id = self.next_id;
         let class = self.below(u64::from(CLASSES)) as u8;
@@ -126,7 +128,7 @@
         self.sent.insert(id, 0);
     }
 
-    fn advance_attempt(&mut self, id: u64, now: u64) {
+    fn advance_attempt(&mut self, id: u64, now: Time) {
         match self.below(40) {
             0 => {
                 let server_lost = self.below(3) == 0;
@@ -151,7 +153,7 @@
         }
     }
 
-    fn report_of_servers(&mut self, now: u64) {
+    fn report_of_servers(&mut self, now: Time) {
         let server = self.below(u64::from(SERVERS)) as u32;
         match self.below(30) {
             0 => self.controller.server_lost(server),
@@ -171,7 +173,7 @@
         }
     }
 
-    fn tick(&mut self, now: u64) {
+    fn tick(&mut self, now: Time) {
         let caps = self.controller.tick(now);
         self.capped += caps.cap.len();
         self.uncapped += caps.uncap.len();
@@ -190,7 +192,7 @@
         self.log += &serde_json::to_string(&budgets).unwrap();
     }
 
-    fn report(&mut self, now: u64) -> TrafficReport {
+    fn report(&mut self, now: Time) -> TrafficReport {
         TrafficReport::of(&mut self.controller, self.front, 0, &names(), now)
     }
 }
@@ -199,7 +201,7 @@
 fn simulated_report(front: u32) -> (TrafficReport, String) {
     let mut simulation = Simulation::new(front);
     for step in 0..SIMULATED_SECONDS * 4 {
-        let now = START + step * SECOND / 4 + simulation.below(1000);
+        let now = START + step * SECOND / 4 + Duration::from_nanos(simulation.below(1000));
         for _ in 0..simulation.below(3) {
             simulation.start_attempt(now);
         }
--- a/crates/cross-zone-traffic/tests/traffic_controller.rs
+++ b/crates/cross-zone-traffic/tests/traffic_controller.rs
@@ -8,10 +8,12 @@
     AttemptUsage, TrafficClass, TrafficConfig, TrafficController,
 };
 use crankpaddle_cross_zone_traffic::usage_accounting::Purpose;
+use crankpaddle_time::Time;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
-const SECOND: u64 = 1_000_000_000;
-const START: u64 = 1_000_000 * SECOND;
+const SECOND: Duration = Duration::from_secs(1);
+const START: Time = Time(1_000_000 * 1_000_000_000);
 const PAID: u8 = 0;
 const PREVIEW: u8 = 1;
 
@@ -30,7 +32,7 @@
         rate_kb,
         burst: 2e6,
         volume: f64::INFINITY,
-        period: 0,
+        period: None,
         repay: 20 * SECOND,
     };
     TrafficConfig {
@@ -87,16 +89,16 @@
     }
 }
 
-fn play(controller: &mut TrafficController, id: u64, server: u32, class: u8, now: u64) {
+fn play(controller: &mut TrafficController, id: u64, server: u32, class: u8, now: Time) {
     controller.attempt_started(attempt(id, server, class));
     controller.session_established(id, now);
 }
 
-fn settle(controller: &mut TrafficController, now: u64) {
+fn settle(controller: &mut TrafficController, now: Time) {
     while !controller.settle_usage(now, 3) {}
 }
 
-fn report(controller: &mut TrafficController, now: u64) -> TrafficReport {
+fn report(controller: &mut TrafficController, now: Time) -> TrafficReport {
     TrafficReport::of(controller, 7, 0, &names(), now)
 }
 
@@ -200,7 +202,7 @@
     play(&mut controller, 1, 11, PREVIEW, START);
     play(&mut controller, 2, 12, PREVIEW, START);
     for s in 1..=5 {
-        controller.bytes_counted(1, 80_000 * s, START + s * SECOND + SECOND / 2);
+        controller.bytes_counted(1, 80_000 * u64::from(s), START + s * SECOND + SECOND / 2);
         controller.server_connected(11, START + s * SECOND + SECOND / 2);
     }
     controller.server_alive(12, START + 3 * SECOND); // Its process ended then, and its connection with it.
@@ -235,7 +237,7 @@
             && !controller.is_in_zones(1, &controller.zones_observed(START))
     );
     let mut quotas = Vec::new();
-    for s in 1..=6u64 {
+    for s in 1..=6u32 {
         let now = START + s * SECOND;
         controller.session_requested(PREVIEW, now);
         controller.usage_reported(11, BTreeMap::from([(PREVIEW, 320.0)]), now);
--- a/crates/cross-zone-traffic/tests/usage_accounting.rs
+++ b/crates/cross-zone-traffic/tests/usage_accounting.rs
@@ -3,11 +3,12 @@
     Flow, Purpose, UsageAccount, UsageConfig, OTHER_FLOWS,
 };
 use crankpaddle_cross_zone_traffic::windows::Span;
+use crankpaddle_time::Time;
+use std::time::Duration;
 
-const SECOND: u64 = 1_000_000_000;
 const CONFIG: UsageConfig = UsageConfig {
-    settle_delay: 8 * SECOND,
-    delivery_report_ttl: 2 * SECOND,
+    settle_delay: Duration::from_secs(8),
+    delivery_report_ttl: Duration::from_secs(2),
     max_flows: 100,
 };
 
@@ -20,6 +21,10 @@
     }
 }
 
+fn at(seconds: u64) -> Time {
+    Time::ZERO + Duration::from_secs(seconds)
+}
+
 fn near(a: u64, b: f64, part: f64) -> bool {
     (a as f64 - b).abs() <= b * part + 1.0
 }
@@ -27,11 +32,11 @@
 #[test]
 fn bytes_follow_rung_and_time_and_fractions_are_not_lost() {
     let mut account = UsageAccount::new(CONFIG);
-    account.session_started(1, flow(1, 0), 7, 100.0, 1000 * SECOND);
-    account.rate_changed(1, 300.0, 1010 * SECOND);
-    account.session_ended(1, 1015 * SECOND);
+    account.session_started(1, flow(1, 0), 7, 100.0, at(1000));
+    account.rate_changed(1, 300.0, at(1010));
+    account.session_ended(1, at(1015));
     for n in 0..4000u64 {
-        while !account.settle(1000 * SECOND + n * SECOND / 100, 1) {}
+        while !account.settle(at(1000) + Duration::from_millis(10 * n), 1) {}
     }
     assert!(
         near(
@@ -51,29 +56,28 @@
     );
     let seconds = account.recent(Span::Second, |_| true);
     assert!(
-        near(seconds[&(1003 * SECOND)], 100_000.0, 0.001)
-            && near(seconds[&(1012 * SECOND)], 300_000.0, 0.001)
+        near(seconds[&at(1003)], 100_000.0, 0.001) && near(seconds[&at(1012)], 300_000.0, 0.001)
     );
 }
 
 /// A server short between seconds 20 and 40; its reports arrive in the order and with the delay of the case.
 fn short_delivery(reports: &[(u64, f64)], order: impl Fn(usize) -> u64) -> UsageAccount {
     let mut account = UsageAccount::new(CONFIG);
-    account.session_started(1, flow(1, 0), 7, 100.0, 1010 * SECOND);
-    account.session_started(2, flow(1, 1), 7, 50.0, 1010 * SECOND);
+    account.session_started(1, flow(1, 0), 7, 100.0, at(1010));
+    account.session_started(2, flow(1, 1), 7, 50.0, at(1010));
     for second in 10..70u64 {
         for (n, (of, share)) in reports.iter().enumerate() {
             if of + order(n) == second {
-                account.delivery_reported(7, *share, (1000 + of) * SECOND);
+                account.delivery_reported(7, *share, at(1000 + of));
             }
         }
         if second == 41 {
-            account.session_ended(2, 1041 * SECOND); // Before its last reports have arrived.
+            account.session_ended(2, at(1041)); // Before its last reports have arrived.
         }
         if second == 50 {
-            account.session_ended(1, 1050 * SECOND);
+            account.session_ended(1, at(1050));
         }
-        while !account.settle((1000 + second) * SECOND, 1) {}
+        while !account.settle(at(1000 + second), 1) {}
     }
     account
 }
@@ -139,16 +143,16 @@
 #[test]
 fn clocks_that_step_back_and_invalid_reports_count_nothing_twice() {
     let mut account = UsageAccount::new(CONFIG);
-    account.session_started(1, flow(1, 0), 7, 100.0, 1000 * SECOND);
-    account.session_started(1, flow(1, 1), 7, 900.0, 1000 * SECOND);
+    account.session_started(1, flow(1, 0), 7, 100.0, at(1000));
+    account.session_started(1, flow(1, 1), 7, 900.0, at(1000));
     for now in [1005, 1020, 1010, 1020, 900, 1030] {
-        while !account.settle(now * SECOND, 1) {}
-        account.delivery_reported(7, f64::NAN, now * SECOND);
-        account.delivery_reported(7, 0.1, u64::MAX);
+        while !account.settle(at(now), 1) {}
+        account.delivery_reported(7, f64::NAN, at(now));
+        account.delivery_reported(7, 0.1, Time::MAX);
     }
-    account.session_ended(1, 990 * SECOND);
-    account.session_ended(1, 2000 * SECOND);
-    while !account.settle(1050 * SECOND, 1) {}
+    account.session_ended(1, at(990));
+    account.session_ended(1, at(2000));
+    while !account.settle(at(1050), 1) {}
     // An end before what was settled already ends there.
     assert!(
         near(account.total(|_| true), 2_200_000.0, 0.0001),
@@ -172,10 +176,10 @@
             },
             7,
             10.0,
-            1000 * SECOND,
+            at(1000),
         );
     }
-    while !account.settle(1018 * SECOND, 1) {}
+    while !account.settle(at(1018), 1) {}
     assert_eq!(account.flows().count(), 4);
     assert!(
         near(account.total(|f| *f == OTHER_FLOWS), 700_000.0, 0.0001)
@@ -186,15 +190,15 @@
 #[test]
 fn totals_survive_a_restart_once() {
     let mut account = UsageAccount::new(CONFIG);
-    account.session_started(1, flow(1, 0), 7, 100.0, 1000 * SECOND);
-    while !account.settle(1018 * SECOND, 1) {}
+    account.session_started(1, flow(1, 0), 7, 100.0, at(1000));
+    while !account.settle(at(1018), 1) {}
     account.add_measured(
         Flow {
             purpose: Purpose::FailedAttempt,
             ..flow(1, 1)
         },
         77,
-        1000 * SECOND,
+        at(1000),
     );
     let saved = account.snapshot();
     let mut restored = UsageAccount::new(CONFIG);
@@ -218,8 +222,7 @@
     last: Option<u64>,
 ) -> UsageAccount {
     let mut account = UsageAccount::new(CONFIG);
-    let at = |second: u64| (1000 + second) * SECOND;
-    account.session_started(1, flow(1, 0), 7, 100.0, at(10));
+    account.session_started(1, flow(1, 0), 7, 100.0, at(1010));
     let total = |second: u64| {
         (0..(second - 10) * 100)
             .map(|n| sent(10.0 + n as f64 / 100.0) / 100.0)
@@ -229,15 +232,15 @@
         for of in
             (11..=second.min(50)).filter(|of| order(*of).is_some_and(|late| of + late == second))
         {
-            account.bytes_counted(1, (total(of) * 1000.0) as u64, at(of));
+            account.bytes_counted(1, (total(of) * 1000.0) as u64, at(1000 + of));
         }
         if second == 50 {
-            account.session_ended(1, at(50));
+            account.session_ended(1, at(1050));
         }
         if last.is_some_and(|late| 50 + late == second) {
             account.final_bytes_counted(1, (total(50) * 1000.0) as u64);
         }
-        while !account.settle(at(second), 1) {}
+        while !account.settle(at(1000 + second), 1) {}
     }
     assert_eq!(account.unsettled_sessions(), 0);
     account
@@ -324,12 +327,7 @@
 fn measured_bytes_are_counted_in_the_seconds_that_they_were_sent_in() {
     let account = counted(irregular_rate, |_| Some(1), Some(1));
     let seconds = account.recent(Span::Second, |_| true);
-    let of = |second: u64| {
-        seconds
-            .get(&((1000 + second) * SECOND))
-            .copied()
-            .unwrap_or(0)
-    };
+    let of = |second: u64| seconds.get(&at(1000 + second)).copied().unwrap_or(0);
     assert!(near(of(22), 35_000.0, 0.001) && near(of(45), 100_000.0, 0.001));
     assert_eq!((of(35), of(11)), (0, 0));
 }
@@ -346,10 +344,8 @@
 #[test]
 fn a_thousand_sessions_are_settled_in_bounded_steps() {
     let mut account = UsageAccount::new(CONFIG);
-    (0..1000).for_each(|n| account.session_started(n, flow(1, 0), 7, 100.0, 1000 * SECOND));
-    let steps = (0..)
-        .take_while(|_| !account.settle(1018 * SECOND, 64))
-        .count();
+    (0..1000).for_each(|n| account.session_started(n, flow(1, 0), 7, 100.0, at(1000)));
+    let steps = (0..).take_while(|_| !account.settle(at(1018), 64)).count();
     assert_eq!(steps, 15, "15 full steps and a last one");
     assert_eq!(account.total(|_| true), 1000 * 1_000_000);
 }
--- a/crates/daemon/src/event_loop/attempts.rs
+++ b/crates/daemon/src/event_loop/attempts.rs
@@ -21,9 +21,11 @@
         self.record_attempt_result(attempt, &name, proven_result(&result));
         match &result {
             SetUpResult::Started(_) => {
-                let now = clock::now().as_nanos();
+                let now = clock::now();
                 let state = self.servers.entry(server).or_default();
-                state.connection.session_started(attempt, name, now);
+                state
+                    .connection
+                    .session_started(attempt, name, now.as_nanos());
                 self.traffic.controller.session_established(attempt.0, now);
             }
             SetUpResult::Ended(outcome, _) => {
@@ -70,7 +72,7 @@
         self.record_attempt_result(attempt, &live.name, AttemptResult::Ended);
         self.traffic
             .controller
-            .attempt_ended(attempt.0, is_server_lost, clock::now().as_nanos());
+            .attempt_ended(attempt.0, is_server_lost, clock::now());
         if let Some(state) = self.servers.get_mut(&live.server) {
             state.connection.session_ended(attempt);
         }
--- a/crates/daemon/src/event_loop/maintenance.rs
+++ b/crates/daemon/src/event_loop/maintenance.rs
@@ -1,15 +1,15 @@
 //! Periodic upkeep: links, the connection pool, budgets, the traffic account and the store.
 use super::EventLoop;
-use crankpaddle_front::{AttemptId, Input};
+use crankpaddle_front::{AttemptId, Input, Time};
 use crankpaddle_net::clock;
 
 impl EventLoop {
     pub(super) fn run_maintenance(&mut self) {
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         let idle_timeout = self.shared.limits().pool_idle;
         for state in self.servers.values() {
             if let Some(link) = &state.link {
-                link.close_if_idle(now, idle_timeout);
+                link.close_if_idle(now.as_nanos(), idle_timeout);
             }
         }
         self.shared.pool.prune();
@@ -19,7 +19,7 @@
 
     /// Applies the budgets of cross-zone traffic: rate caps of sessions, policies of classes, and which
     /// servers must report.
-    fn enforce_budgets(&mut self, now: u64) {
+    fn enforce_budgets(&mut self, now: Time) {
         let changes = self.traffic.controller.tick(now);
         self.cap_rates(&changes.cap, true);
         self.cap_rates(&changes.uncap, false);
@@ -38,7 +38,7 @@
 
     /// Subscribes to servers whose reports are needed though no session is there: for budgets, or because the
     /// list service does not report their starts.
-    fn update_report_subscriptions(&mut self, now: u64) {
+    fn update_report_subscriptions(&mut self, now: Time) {
         let zones = self.traffic.controller.zones_observed(now);
         for (server, state) in &self.servers {
             let Some(link) = &state.link else { continue };
@@ -50,11 +50,7 @@
 
     /// Passes changes of how classes may be served from other zones to the core.
     pub(super) fn apply_cross_zone_policy(&mut self) {
-        for change in self
-            .traffic
-            .controller
-            .policy_changes(clock::now().as_nanos())
-        {
+        for change in self.traffic.controller.policy_changes(clock::now()) {
             let (zone, class, policy) = (change.zone, change.class, change.policy);
             tracing::info!(zone, class, ?policy, "cross-zone policy changed");
             self.handle_core_input(Input::CrossZonePolicyChanged {
--- a/crates/daemon/src/event_loop/messages.rs
+++ b/crates/daemon/src/event_loop/messages.rs
@@ -46,7 +46,7 @@
         if let Input::Open { open, .. } = &input {
             self.traffic
                 .controller
-                .session_requested(open.class, clock::now().as_nanos());
+                .session_requested(open.class, clock::now());
             self.apply_cross_zone_policy();
         }
         self.handle_core_input(input);
--- a/crates/daemon/src/event_loop/outputs.rs
+++ b/crates/daemon/src/event_loop/outputs.rs
@@ -198,7 +198,7 @@
         );
         self.traffic
             .controller
-            .rung_changed(attempt.0, rung, clock::now().as_nanos());
+            .rung_changed(attempt.0, rung, clock::now());
         if let Some(live) = self.attempts.get(&attempt) {
             live.link.set_rung(&self.shared, &live.name, rung);
         }
--- a/crates/daemon/src/event_loop/server_messages.rs
+++ b/crates/daemon/src/event_loop/server_messages.rs
@@ -41,7 +41,7 @@
     fn stream_started(&mut self, server: ServerId, start: &StreamStart, called_at: u64) {
         self.traffic
             .controller
-            .server_connected(server.0, clock::now().as_nanos());
+            .server_connected(server.0, clock::now());
         self.detect_server_start(server, start);
         let Some(state) = self.servers.get_mut(&server) else {
             return;
@@ -123,9 +123,7 @@
     }
 
     fn stream_closed(&mut self, server: ServerId) {
-        self.traffic
-            .controller
-            .server_alive(server.0, clock::now().as_nanos());
+        self.traffic.controller.server_alive(server.0, clock::now());
     }
 
     /// Ends the sessions of a server that can't be reached.
@@ -169,7 +167,7 @@
             if let (Some(server), SessionUpdate::DeliveryRatio(ratio)) = (server, update) {
                 self.traffic
                     .controller
-                    .delivery_reported(server.0, ratio, clock::now().as_nanos());
+                    .delivery_reported(server.0, ratio, clock::now());
             }
             self.handle_core_input(Input::SessionUpdated(attempt, update));
         }
@@ -209,6 +207,6 @@
     fn final_bytes_counted(&mut self, attempt: AttemptId, sent_bytes: u64) {
         self.traffic
             .controller
-            .final_bytes_counted(attempt.0, sent_bytes, clock::now().as_nanos());
+            .final_bytes_counted(attempt.0, sent_bytes, clock::now());
     }
 }
--- a/crates/daemon/src/event_loop/session_adoption.rs
+++ b/crates/daemon/src/event_loop/session_adoption.rs
@@ -110,14 +110,14 @@
         );
         link.attempt_added(&self.shared);
         self.attempt_ids.insert(session.name.clone(), attempt);
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         let order = self.adopted_order(&session);
         self.traffic.attempt_started(attempt, 0, server, &order);
         self.traffic.controller.session_established(attempt.0, now);
         let state = self.servers.entry(server).or_default();
         state
             .connection
-            .session_started(attempt, session.name.clone(), now);
+            .session_started(attempt, session.name.clone(), now.as_nanos());
         if is_paid_class(&self.shared.config, usize::from(order.class)) {
             self.write_adopted_intent(server, &session);
         }
--- a/crates/daemon/src/traffic.rs
+++ b/crates/daemon/src/traffic.rs
@@ -11,6 +11,7 @@
 use crankpaddle_net::clock;
 use crankpaddle_server_protocol::event_stream::CrossZoneRate;
 use std::collections::BTreeMap;
+use std::time::Duration;
 use std::{fs, io};
 
 /// Sessions settled in one step, so that no message waits for many.
@@ -52,7 +53,7 @@
         zone: settings.zone,
         classes: settings.classes.iter().map(class).collect(),
         limits: config.budgets.clone(),
-        report_delay: settings.update_delay,
+        report_delay: Duration::from_nanos(settings.update_delay),
     }
 }
 
@@ -164,7 +165,7 @@
         sent_bytes: &[(AttemptId, u64)],
         crossing: &[CrossZoneRate],
     ) {
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         for (attempt, bytes) in sent_bytes {
             self.controller.bytes_counted(attempt.0, *bytes, now);
         }
@@ -202,7 +203,7 @@
     /// Settles the next sessions; whether some are left.
     pub(crate) fn settle_step(&mut self) -> bool {
         if self.is_settling {
-            let now = clock::now().as_nanos();
+            let now = clock::now();
             self.is_settling = !self.controller.settle_usage(now, SESSIONS_PER_STEP);
         }
         self.is_settling
@@ -215,7 +216,7 @@
             self.front,
             self.zone,
             &self.names,
-            clock::now().as_nanos(),
+            clock::now(),
         );
         serde_json::to_string(&report).unwrap_or_default()
     }
