--- a/crates/benchmark/src/account.rs
+++ b/crates/benchmark/src/account.rs
@@ -3,7 +3,7 @@
 use crankpaddle_cross_zone_traffic::budget::{FrontPosition, SharedBudget};
 use crankpaddle_cross_zone_traffic::cross_zone_admission::CrossZoneLimit;
 use crankpaddle_cross_zone_traffic::traffic_controller::{
-    AttemptUsage, TrafficClass, TrafficConfig, TrafficController,
+    AttemptEnd, AttemptUsage, TrafficClass, TrafficConfig, TrafficController,
 };
 use crankpaddle_time::Time;
 use std::collections::BTreeMap;
@@ -35,10 +35,10 @@
 fn controller() -> TrafficController {
     let shared = SharedBudget {
         rate_kb: 1e9,
-        burst: 1e12,
-        volume: f64::INFINITY,
+        burst_bytes: 1e12,
+        volume_bytes: f64::INFINITY,
         period: None,
-        repay: 60 * SECOND,
+        max_repayment_time: 60 * SECOND,
     };
     let mut controller = TrafficController::new(TrafficConfig {
         position: FrontPosition {
@@ -48,11 +48,11 @@
         zone: 0,
         classes: vec![
             TrafficClass {
-                paid: true,
+                is_paid: true,
                 rung_rates_kb: vec![300.0],
             },
             TrafficClass {
-                paid: false,
+                is_paid: false,
                 rung_rates_kb: vec![200.0],
             },
         ],
@@ -148,7 +148,7 @@
             let next = id + self.plan.sessions;
             self.sent.insert(next, 0);
             if let Some(controller) = self.controller.as_deref_mut() {
-                controller.attempt_ended(id, false, now);
+                controller.attempt_ended(id, AttemptEnd::Completed, now);
                 controller.final_bytes_counted(id, bytes, now);
                 controller.attempt_started(attempt(next));
                 controller.session_established(next, now);
--- a/crates/config/src/check/budgets.rs
+++ b/crates/config/src/check/budgets.rs
@@ -77,21 +77,21 @@
         let has_volume = !budget.volume.is_empty() || !budget.period.is_empty();
         // A rate of zero forbids the traffic.
         let rate_kb = self.measure(&path("rate"), &budget.rate, Unit::Rate, 0.0);
-        let burst = self.measure(&path("burst"), &budget.burst, Unit::Size, 1.0);
-        let mut volume = f64::INFINITY;
+        let burst_bytes = self.measure(&path("burst"), &budget.burst, Unit::Size, 1.0);
+        let mut volume_bytes = f64::INFINITY;
         let mut period = None;
         if has_volume {
-            volume = self.size(&path("volume"), &budget.volume) as f64;
+            volume_bytes = self.size(&path("volume"), &budget.volume) as f64;
             period = Some(Duration::from_nanos(
                 self.time(&path("period"), &budget.period),
             ));
         }
         SharedBudget {
             rate_kb,
-            burst,
-            volume,
+            burst_bytes,
+            volume_bytes,
             period,
-            repay: Duration::from_nanos(self.time(&path("repay"), budget.repay())),
+            max_repayment_time: Duration::from_nanos(self.time(&path("repay"), budget.repay())),
         }
     }
 }
--- a/crates/config/tests/check.rs
+++ b/crates/config/tests/check.rs
@@ -306,7 +306,7 @@
         (1, None, 5000.0)
     );
     assert_eq!(
-        (limit.shared.volume, limit.shared.repay),
+        (limit.shared.volume_bytes, limit.shared.max_repayment_time),
         (f64::INFINITY, Duration::from_nanos(60_000_000_000))
     );
     let none = parse(&budget("burst: \"1MiB\"").replace("5MB/s", "0kB/s")).unwrap();
--- a/crates/cross-zone-traffic/src/cross_zone_admission/budget_pool.rs
+++ b/crates/cross-zone-traffic/src/cross_zone_admission/budget_pool.rs
@@ -1,15 +1,15 @@
 //! One budget with this front's quota of it, its overdrafts, and whether it is short.
-use super::types::{CapReason, CrossZoneLimit};
+use super::types::{CrossZoneLimit, OverdraftCause};
 use super::CrossingSession;
 use crate::budget::{Budget, FrontPosition, SharedBudget};
 use crate::quota_share::QuotaShare;
 use crankpaddle_time::Time;
 use std::collections::BTreeMap;
 
-/// At this level of the budget only paid sessions start to cross ...
+/// From this level of the budget on only paid sessions start to cross ...
 pub(super) const SHORT_LEVEL: f64 = 1.0;
-/// ... until it has fallen to this level. Why the gap: without it each session that ends lets one start, and caps flap. A
-/// part of the burst stays unused for it.
+/// ... until it has fallen to this level. Why the gap: without it each session that ends lets one start, and the policy
+/// alternates. The cost is a part of the burst that stays unused.
 const AMPLE_LEVEL: f64 = 0.9;
 
 /// Identifies a budget; the order is that in which budgets are visited and reported.
@@ -30,6 +30,7 @@
     }
 }
 
+/// A budget and its state in this front.
 #[derive(Clone, Debug)]
 pub(super) struct BudgetPool {
     pub(super) budget: Budget,
@@ -38,7 +39,7 @@
     /// When sessions were last capped for it; [`Time::ZERO`] before the first time.
     pub(super) last_relief: Time,
     /// Bytes beyond the budget so far, by cause.
-    pub(super) overdrafts: BTreeMap<CapReason, f64>,
+    pub(super) overdraft_bytes: BTreeMap<OverdraftCause, f64>,
 }
 
 impl BudgetPool {
@@ -48,7 +49,7 @@
             quota_share: QuotaShare::new(position.equal_quota()),
             is_short: false,
             last_relief: Time::ZERO,
-            overdrafts: BTreeMap::new(),
+            overdraft_bytes: BTreeMap::new(),
         }
     }
 
@@ -60,19 +61,20 @@
     }
 
     /// Corrects what is reserved for a session to the bytes that it is now expected to send in all.
-    pub(super) fn correct(&mut self, now: Time, session: &CrossingSession, expected: f64) {
-        let reserved = session.reserved;
-        let is_overdrawn = session.overdrawn.is_some();
-        self.budget.correct(now, reserved, expected, is_overdrawn);
+    pub(super) fn correct(&mut self, now: Time, session: &CrossingSession, expected_bytes: f64) {
+        let reserved_bytes = session.reserved_bytes;
+        let is_overdrawn = session.overdraft_cause.is_some();
+        self.budget
+            .correct(now, reserved_bytes, expected_bytes, is_overdrawn);
         let overdraft = session
-            .overdrawn
-            .and_then(|cause| self.overdrafts.get_mut(&cause));
+            .overdraft_cause
+            .and_then(|cause| self.overdraft_bytes.get_mut(&cause));
         if let Some(bytes) = overdraft {
-            *bytes = (*bytes + expected - reserved).max(0.0);
+            *bytes = (*bytes + expected_bytes - reserved_bytes).max(0.0);
         }
     }
 
-    /// Updates whether the budget is short and returns it.
+    /// Updates and returns whether the budget is short.
     pub(super) fn update_shortage(&mut self, now: Time) -> bool {
         let threshold = if self.is_short {
             AMPLE_LEVEL
--- a/crates/cross-zone-traffic/src/cross_zone_admission/crossing_session.rs
+++ b/crates/cross-zone-traffic/src/cross_zone_admission/crossing_session.rs
@@ -1,9 +1,10 @@
-//! A session that crosses between zones: its rate, what it sent, and what is reserved for it.
+//! A session that crosses between zones: its rate, the bytes that it sent, and those that are reserved for it.
 use super::budget_pool::{BudgetKey, BudgetPool};
-use super::types::CapReason;
-use crate::{BYTES_PER_KB, NANOSECONDS_PER_SECOND};
-use crankpaddle_time::{nanoseconds, Time};
+use super::types::OverdraftCause;
+use crate::{nanoseconds_between, BYTES_PER_KB, NANOSECONDS_PER_SECOND};
+use crankpaddle_time::Time;
 
+/// A session whose server is in another zone than its viewer.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct CrossingSession {
     /// The budget that it is counted in.
@@ -14,30 +15,30 @@
     /// Its rate before it was capped, kB a second.
     pub(super) uncapped_rate_kb: f64,
     /// Bytes that are reserved for it.
-    pub(super) reserved: f64,
+    pub(super) reserved_bytes: f64,
     pub(super) started_at: Time,
     /// Since when it has the present rate.
     pub(super) rate_since: Time,
     /// Bytes that it sent before `rate_since`.
-    pub(super) sent: f64,
+    pub(super) sent_bytes: f64,
     pub(super) is_capped: bool,
     /// Why it was reserved beyond the budget, if it was.
-    pub(super) overdrawn: Option<CapReason>,
+    pub(super) overdraft_cause: Option<OverdraftCause>,
 }
 
 impl CrossingSession {
     /// Bytes that it has sent by now.
-    pub(super) fn sent_by(&self, now: Time) -> f64 {
-        self.sent + self.rate_kb * BYTES_PER_KB * seconds_between(self.rate_since, now)
+    pub(super) fn sent_bytes_by(&self, now: Time) -> f64 {
+        self.sent_bytes + self.rate_kb * BYTES_PER_KB * seconds_between(self.rate_since, now)
     }
 
-    /// Seconds since it started.
-    pub(super) fn age(&self, now: Time) -> f64 {
+    /// Time since it started.
+    pub(super) fn age_seconds(&self, now: Time) -> f64 {
         seconds_between(self.started_at, now)
     }
 
-    /// Accounts for what was sent until now and continues at a rate; what is reserved is corrected to what it sent and
-    /// will send in `remaining_seconds` at that rate.
+    /// Accounts for the bytes sent until now and continues at a rate. The reservation is corrected to the bytes that the
+    /// session has sent and will send in `remaining_seconds` at that rate.
     pub(super) fn continue_at(
         &mut self,
         rate_kb: f64,
@@ -45,17 +46,17 @@
         remaining_seconds: f64,
         pool: Option<&mut BudgetPool>,
     ) {
-        self.sent = self.sent_by(now);
+        self.sent_bytes = self.sent_bytes_by(now);
         self.rate_kb = rate_kb;
         self.rate_since = now.max(self.rate_since);
-        let expected = self.sent + rate_kb * BYTES_PER_KB * remaining_seconds;
+        let expected_bytes = self.sent_bytes + rate_kb * BYTES_PER_KB * remaining_seconds;
         if let Some(pool) = pool {
-            pool.correct(now, self, expected);
+            pool.correct(now, self, expected_bytes);
         }
-        self.reserved = expected;
+        self.reserved_bytes = expected_bytes;
     }
 }
 
 fn seconds_between(from: Time, to: Time) -> f64 {
-    nanoseconds(to.duration_since(from)) as f64 / NANOSECONDS_PER_SECOND
+    nanoseconds_between(from, to) / NANOSECONDS_PER_SECOND
 }
--- a/crates/cross-zone-traffic/src/cross_zone_admission/mod.rs
+++ b/crates/cross-zone-traffic/src/cross_zone_admission/mod.rs
@@ -1,9 +1,9 @@
 //! Admission of sessions that cross between zones: which may start, which are capped, and in which order caps are lifted.
 //!
-//! Which server and rung a request gets stays with the placement module; this module states how it may choose from other
-//! zones. Paid sessions have priority over the budget: they cross when their own zone can't serve them, the overdraft is
-//! counted with its cause, and previews repay it by staying in their own zone, or at their lowest rung, until the debt has
-//! drained; for a bounded time, after which the rest is written off.
+//! The placement module chooses the server and rung of a request; this module states how it may choose from other zones.
+//! Paid sessions have priority over the budget: they cross when their own zone can't serve them, and the overdraft is
+//! counted with its cause. Previews repay it: they stay in their own zone, or at their lowest rung, until the debt has
+//! drained. After a bounded time the rest of the overdraft is written off.
 mod budget_pool;
 mod crossing_session;
 mod policies;
@@ -14,7 +14,7 @@
 
 pub use crankpaddle::CrossZonePolicy;
 pub use types::{
-    BudgetStatus, CapReason, CrossZoneLimit, PolicyChange, RateCapChanges, SessionStart,
+    BudgetStatus, CrossZoneLimit, OverdraftCause, PolicyChange, RateCapChanges, SessionStart,
 };
 
 use crate::budget::FrontPosition;
@@ -27,9 +27,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Weight of a session that ended in the mean session length.
-const LENGTH_WEIGHT: f64 = 0.05;
-/// The shortest length that is assumed of a session, seconds.
-const MIN_SESSION_LENGTH: f64 = 0.1;
+const SESSION_LENGTH_WEIGHT: f64 = 0.05;
+/// The shortest length that is assumed of a session.
+const MIN_SESSION_SECONDS: f64 = 0.1;
 
 /// The traffic of one front, whose viewers are in one zone, from other zones.
 #[derive(Clone, Debug)]
@@ -44,19 +44,18 @@
     servers_up: BTreeMap<u8, BTreeSet<u32>>,
     /// The policies that were last returned as changes.
     notified_policies: BTreeMap<ZoneClass, CrossZonePolicy>,
-    /// Seconds.
-    mean_session_length: f64,
+    mean_session_seconds: f64,
 }
 
 impl CrossZoneAdmission {
     /// `paid_classes`: for each class whether it has priority over budgets. A zone without a budget is unlimited.
-    /// `mean_session_length`: seconds, assumed until sessions have ended.
+    /// `mean_session_seconds`: assumed until sessions have ended.
     #[must_use]
     pub fn new(
         paid_classes: Vec<bool>,
         limits: &[CrossZoneLimit],
         position: FrontPosition,
-        mean_session_length: f64,
+        mean_session_seconds: f64,
     ) -> CrossZoneAdmission {
         let mut admission = CrossZoneAdmission {
             paid_classes,
@@ -65,14 +64,14 @@
             usage_reports: BTreeMap::new(),
             servers_up: BTreeMap::new(),
             notified_policies: BTreeMap::new(),
-            mean_session_length: mean_session_length.max(MIN_SESSION_LENGTH),
+            mean_session_seconds: mean_session_seconds.max(MIN_SESSION_SECONDS),
         };
         admission.reconfigure(limits, position);
         admission
     }
 
-    /// Changes the budgets and the position; what flows and what is owed stays. A zone that has no budget any more is
-    /// unlimited; sessions that flow under another budget from now on are counted there.
+    /// Changes the budgets and the position; sessions and debt stay. A zone that has no budget any more is unlimited;
+    /// sessions to which another budget applies from now on are counted there.
     pub fn reconfigure(&mut self, limits: &[CrossZoneLimit], position: FrontPosition) {
         let configured: BTreeSet<BudgetKey> = limits.iter().map(BudgetKey::from).collect();
         self.pools.retain(|key, _| configured.contains(key));
@@ -115,7 +114,7 @@
             .unwrap_or(false)
     }
 
-    /// The debt of a budget over the burst; 0 where there is no budget.
+    /// The debt of a budget divided by its burst; 0 where there is no budget.
     fn budget_level(&mut self, now: Time, key: BudgetKey) -> f64 {
         self.pools
             .get_mut(&key)
@@ -133,11 +132,14 @@
         let Some(pool) = self.pools.get_mut(&key) else {
             return 0.0;
         };
-        let expected = start.rate_kb * BYTES_PER_KB * self.mean_session_length;
-        let overdrawn = pool.budget.reserve(now, expected);
-        if overdrawn > 0.0 {
-            *pool.overdrafts.entry(start.cause).or_default() += overdrawn;
-            self.charge_other_budgets(now, key, overdrawn);
+        let expected_bytes = start.rate_kb * BYTES_PER_KB * self.mean_session_seconds;
+        let overdrawn_bytes = pool.budget.reserve(now, expected_bytes);
+        if overdrawn_bytes > 0.0 {
+            *pool
+                .overdraft_bytes
+                .entry(start.overdraft_cause)
+                .or_default() += overdrawn_bytes;
+            self.charge_other_budgets(now, key, overdrawn_bytes);
         }
         let session = CrossingSession {
             budget: key,
@@ -145,15 +147,15 @@
             rate_kb: start.rate_kb,
             lowest_rate_kb: start.lowest_rate_kb,
             uncapped_rate_kb: start.rate_kb,
-            reserved: expected,
+            reserved_bytes: expected_bytes,
             started_at: now,
             rate_since: now,
-            sent: 0.0,
+            sent_bytes: 0.0,
             is_capped: false,
-            overdrawn: (overdrawn > 0.0).then_some(start.cause),
+            overdraft_cause: (overdrawn_bytes > 0.0).then_some(start.overdraft_cause),
         };
         self.sessions.insert(start.session, session);
-        overdrawn
+        overdrawn_bytes
     }
 
     /// Whether a budget is for a paid class alone.
@@ -161,7 +163,7 @@
         key.class.is_some_and(|class| self.is_paid(class))
     }
 
-    /// Charges what a paid class overdrew in a budget of its own to the budgets of the zone's other classes.
+    /// Charges the overdraft of a paid class with a budget of its own to the budgets of the zone's other classes.
     fn charge_other_budgets(&mut self, now: Time, overdrawn: BudgetKey, bytes: f64) {
         if !self.is_paid_budget(overdrawn) {
             return; // The classes that repay are under the same budget.
@@ -179,12 +181,12 @@
     }
 
     /// The rate of a session changed.
-    pub fn rate_changed(&mut self, now: Time, session: u64, rate_kb: f64) {
+    pub(crate) fn rate_changed(&mut self, now: Time, session: u64, rate_kb: f64) {
         let Some(session) = self.sessions.get_mut(&session) else {
             return;
         };
         let pool = self.pools.get_mut(&session.budget);
-        session.continue_at(rate_kb, now, self.mean_session_length, pool);
+        session.continue_at(rate_kb, now, self.mean_session_seconds, pool);
     }
 
     /// A session ended.
@@ -192,10 +194,10 @@
         let Some(session) = self.sessions.remove(&session) else {
             return;
         };
-        let length = session.age(now).max(MIN_SESSION_LENGTH);
-        self.mean_session_length += LENGTH_WEIGHT * (length - self.mean_session_length);
+        let seconds = session.age_seconds(now).max(MIN_SESSION_SECONDS);
+        self.mean_session_seconds += SESSION_LENGTH_WEIGHT * (seconds - self.mean_session_seconds);
         if let Some(pool) = self.pools.get_mut(&session.budget) {
-            pool.correct(now, &session, session.sent_by(now));
+            pool.correct(now, &session, session.sent_bytes_by(now));
         }
     }
 
@@ -204,8 +206,8 @@
         self.servers_up.insert(zone, servers);
     }
 
-    /// A server reports what crosses from it to this front's zone, kB a second by class, for all fronts; `at`: the time
-    /// that the report describes.
+    /// A server reports what it sends to this front's zone for all fronts, kB a second by class; `at`: the time that the
+    /// report describes.
     pub fn usage_reported(
         &mut self,
         zone: u8,
@@ -219,8 +221,8 @@
             .record(server, at, rate_kb_by_class);
     }
 
-    /// A server is lost: nothing crosses from it until it reports again.
-    pub fn server_lost(&mut self, zone: u8, server: u32) {
+    /// A server is lost: it sends nothing until it reports again.
+    pub(crate) fn server_lost(&mut self, zone: u8, server: u32) {
         self.usage_reports
             .entry(zone)
             .or_default()
@@ -228,7 +230,7 @@
         self.servers_up.entry(zone).or_default().remove(&server);
     }
 
-    /// Charges what flowed since the previous call, updates the quotas, and returns which sessions are to be capped or
+    /// Charges the bytes sent since the previous call, updates the quotas, and returns which sessions are to be capped or
     /// uncapped; call it about once a second.
     pub fn tick(&mut self, now: Time) -> RateCapChanges {
         let rate_by_budget = self.charge_sessions(now);
--- a/crates/cross-zone-traffic/src/cross_zone_admission/policies.rs
+++ b/crates/cross-zone-traffic/src/cross_zone_admission/policies.rs
@@ -1,4 +1,4 @@
-//! How classes may be served from other zones, and where that changed.
+//! How classes may be served from other zones, and changes of that.
 use super::types::PolicyChange;
 use super::{CrossZoneAdmission, CrossZonePolicy};
 use crankpaddle_time::Time;
@@ -48,7 +48,7 @@
         changes
     }
 
-    /// Each class of each zone that has a budget, then what was notified of zones that have none any more.
+    /// Each class of each zone that has a budget, then the notified classes of zones that have none any more.
     fn policies_to_check(&self) -> Vec<ZoneClass> {
         let zones = self.budgeted_zones();
         let class_count = self.paid_classes.len().min(MAX_CLASSES) as u16;
--- a/crates/cross-zone-traffic/src/cross_zone_admission/quotas.rs
+++ b/crates/cross-zone-traffic/src/cross_zone_admission/quotas.rs
@@ -1,4 +1,4 @@
-//! This front's quota of each budget, from its own usage and what servers report.
+//! This front's quota of each budget, from its own usage and the reports of servers.
 use super::budget_pool::{BudgetKey, BudgetPool};
 use super::{CrossZoneAdmission, CrossZonePolicy};
 use crate::quota_share::{ObservedUsage, UsageReports};
@@ -9,7 +9,7 @@
 const MIN_BUDGET_RATE_KB: f64 = 1e-9;
 
 impl CrossZoneAdmission {
-    /// A request of a class arrived: where a budget holds it back, this front has demand for more of it.
+    /// A request of a class arrived: where a budget holds it back, this front has demand for more of that budget.
     pub fn session_requested(&mut self, now: Time, class: u8) {
         for zone in self.budgeted_zones() {
             if self.policy(now, zone, class) == CrossZonePolicy::Allowed {
@@ -27,7 +27,7 @@
     #[must_use]
     pub fn zones_observed(&self, now: Time) -> BTreeSet<u8> {
         let needs_reports = |pool: &BudgetPool| {
-            pool.quota_share.has_demand(now) || pool.quota_share.exceeds_equal_share()
+            pool.quota_share.has_demand(now) || pool.quota_share.exceeds_equal_quota()
         };
         self.pools
             .iter()
@@ -36,17 +36,17 @@
             .collect()
     }
 
-    /// Charges each session for what it sent, and sums the rates, kB a second, by budget.
+    /// Charges each session for the bytes that it sent, and sums the rates, kB a second, by budget.
     ///
-    /// Why not only at the end of a session: with the first expectation alone, sessions that end early give back at once
-    /// while long ones are charged only when they end, and for as long as that the fronts are over their budget together
+    /// Why not only at the end of a session: sessions that end early return a part of their reservation at once, while long
+    /// ones would be charged for the rest only when they end, and until then all fronts together would exceed the budget
     /// (by a third, measured in a test).
     pub(super) fn charge_sessions(&mut self, now: Time) -> BTreeMap<BudgetKey, f64> {
         let mut rate_by_budget: BTreeMap<BudgetKey, f64> = BTreeMap::new();
         // One pass over all sessions: this runs between players' requests and their responses.
         for session in self.sessions.values_mut() {
             let pool = self.pools.get_mut(&session.budget);
-            session.continue_at(session.rate_kb, now, self.mean_session_length, pool);
+            session.continue_at(session.rate_kb, now, self.mean_session_seconds, pool);
             *rate_by_budget.entry(session.budget).or_default() += session.rate_kb;
         }
         rate_by_budget
@@ -71,7 +71,7 @@
         }
     }
 
-    /// kB a second that crosses under a budget for all fronts; `None` where a server that is up has no recent report.
+    /// What crosses under a budget for all fronts, kB a second; `None` where a server that is up has no recent report.
     fn usage_of_all_fronts(&self, now: Time, key: BudgetKey) -> Option<ObservedUsage> {
         let applies_to = |class: u8| self.budget_key(key.zone, class) == Some(key);
         let servers = self
--- a/crates/cross-zone-traffic/src/cross_zone_admission/rate_caps.rs
+++ b/crates/cross-zone-traffic/src/cross_zone_admission/rate_caps.rs
@@ -5,9 +5,9 @@
 use crankpaddle_time::Time;
 use std::time::Duration;
 
-/// Over this level previews that cross are capped; overdrafts of paid sessions and quotas that are given back lead there.
+/// Over this level previews that cross are capped. Overdrafts of paid sessions and reduced quotas cause it.
 const RELIEF_LEVEL: f64 = 1.5;
-/// Up to this level caps are lifted, one a tick, that of the cheapest session first.
+/// Up to this level caps are lifted, one at each tick, that of the cheapest session first.
 const RESTORE_LEVEL: f64 = 0.6;
 /// Time between two reliefs of a budget: the effect of a cap must first show.
 const RELIEF_INTERVAL: Duration = Duration::from_secs(2);
@@ -30,7 +30,7 @@
         changes
     }
 
-    /// Caps previews, the dearest first, until the debt is within the burst.
+    /// Caps previews, the most expensive first, until the debt is within the burst.
     fn cap_sessions(&mut self, now: Time, key: BudgetKey, changes: &mut RateCapChanges) {
         let Some(pool) = self.pools.get_mut(&key) else {
             return;
@@ -49,7 +49,7 @@
         }
     }
 
-    /// Sessions under a budget that may be capped, the dearest first.
+    /// Sessions under a budget that may be capped, the most expensive first.
     fn cap_candidates(&self, key: BudgetKey) -> Vec<CapCandidate> {
         let mut candidates: Vec<CapCandidate> = self
             .sessions_of(key)
@@ -60,8 +60,8 @@
             })
             .collect();
         candidates.sort_by(|left, right| {
-            let dearest_first = right.saving_kb.total_cmp(&left.saving_kb);
-            dearest_first.then(left.session.cmp(&right.session))
+            let most_expensive_first = right.saving_kb.total_cmp(&left.saving_kb);
+            most_expensive_first.then(left.session.cmp(&right.session))
         });
         candidates
     }
--- a/crates/cross-zone-traffic/src/cross_zone_admission/status.rs
+++ b/crates/cross-zone-traffic/src/cross_zone_admission/status.rs
@@ -26,8 +26,8 @@
             level,
             paid_kb: self.crossing_rate_kb(key, true),
             other_kb: self.crossing_rate_kb(key, false),
-            overdrafts: pool.overdrafts.clone(),
-            written_off: pool.budget.written_off(),
+            overdraft_bytes: pool.overdraft_bytes.clone(),
+            written_off_bytes: pool.budget.written_off_bytes(),
             capped_sessions: self
                 .sessions_of(key)
                 .filter(|(_, session)| session.is_capped)
--- a/crates/cross-zone-traffic/src/cross_zone_admission/types.rs
+++ b/crates/cross-zone-traffic/src/cross_zone_admission/types.rs
@@ -1,18 +1,18 @@
-//! What admission takes and returns.
+//! Inputs and results of admission.
 use crate::budget::SharedBudget;
 use crankpaddle::CrossZonePolicy;
 use std::collections::BTreeMap;
 
 /// Why a paid session crossed beyond the budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum CapReason {
+pub enum OverdraftCause {
     /// No server of the front's own zone was up.
     LocalZoneDown,
     /// The front's own zone had no capacity, or does not hold the title.
     LocalZoneFull,
 }
 
-/// A budget for what goes from a zone to that of the front.
+/// A budget for the traffic from a zone to that of the front.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CrossZoneLimit {
     /// The zone of the servers.
@@ -36,8 +36,8 @@
     pub rate_kb: f64,
     /// The rate of its lowest rung, kB a second.
     pub lowest_rate_kb: f64,
-    /// The cause that is recorded if it crosses beyond the budget.
-    pub cause: CapReason,
+    /// The cause that is recorded if the session exceeds the budget.
+    pub overdraft_cause: OverdraftCause,
 }
 
 /// A change of how a class may be served from a zone.
@@ -67,16 +67,16 @@
     pub limit: CrossZoneLimit,
     /// This front's quota of it, 0 to 1.
     pub quota: f64,
-    /// Debt over this front's quota of the burst.
+    /// Debt divided by this front's quota of the burst.
     pub level: f64,
     /// kB a second of paid sessions that cross under it now.
     pub paid_kb: f64,
     /// kB a second of the other sessions that cross under it now.
     pub other_kb: f64,
     /// Bytes beyond it so far, by cause.
-    pub overdrafts: BTreeMap<CapReason, f64>,
+    pub overdraft_bytes: BTreeMap<OverdraftCause, f64>,
     /// Bytes of debt that were written off.
-    pub written_off: f64,
+    pub written_off_bytes: f64,
     /// Sessions capped at their lowest rung for it now.
     pub capped_sessions: usize,
 }
--- a/crates/cross-zone-traffic/src/lib.rs
+++ b/crates/cross-zone-traffic/src/lib.rs
@@ -19,7 +19,14 @@
 pub mod usage_accounting;
 pub mod windows;
 
+use crankpaddle_time::{nanoseconds, Time};
+
 /// Nanoseconds in a second, for computations with rates.
 pub(crate) const NANOSECONDS_PER_SECOND: f64 = 1e9;
 /// Bytes in a kB.
 pub(crate) const BYTES_PER_KB: f64 = 1000.0;
+
+/// Nanoseconds from a point in time to a later one, for computations with rates; 0 if it is not later.
+pub(crate) fn nanoseconds_between(from: Time, to: Time) -> f64 {
+    nanoseconds(to.duration_since(from)) as f64
+}
--- a/crates/cross-zone-traffic/src/quota_share.rs
+++ b/crates/cross-zone-traffic/src/quota_share.rs
@@ -1,46 +1,48 @@
-//! Which quota of a shared budget a front may use, derived from what servers report and never by communication of fronts.
+//! Which quota of a shared budget a front may use, computed from the reports of servers; fronts do not communicate.
 //!
 //! An equal quota, the rate over the number of fronts, is always safe and always available; but with the load on few
 //! fronts it leaves nearly all of the budget unused. All fronts receive reports of the same servers, and a server knows
-//! the zone of the front of each session: its reports state what crosses a pair of zones in all. From that each front
-//! moves its quota:
+//! the zone of the front of each session: its reports state the traffic between a pair of zones for all fronts. From them
+//! each front adjusts its quota:
 //!
-//! - **up, slowly**, while it has demand and the reports show headroom: by `GROWTH` of the headroom, times its own weight
-//!   among all (its use, or its equal quota where that is more, over all use and the budget). The weights of all fronts
-//!   add up to 1 at the most, so together they take no more than that share of the headroom in a step, and reports
-//!   that lag some steps do not let the sum pass the budget;
+//! - **up, slowly**, while it has demand and the reports show headroom: by `GROWTH_PER_UPDATE` of the headroom, times its
+//!   own weight among all (its usage, or its equal quota where that is more, over the usage of all fronts and the budget).
+//!   The weights of all fronts add up to 1 at the most, so together they take no more than that share of the headroom in
+//!   an update, and reports that are some updates old do not let the sum exceed the budget;
 //! - **down**: at once to its share of the budget when the reports show more than the budget, and to the equal quota when
-//!   reports are missing or late; within some half a minute to what it uses when it has no further demand.
+//!   reports are missing or late; within about half a minute to its usage when it has no further demand.
 //!
-//! Bound: beyond the budget goes only what idle fronts start within their equal quotas before the others have received
-//! reports of it and given back: less than the budget once more, (N - 1) / N of it, for the reports' delay and the length
-//! of a session (previews that cross are capped sooner). Without reports the sum is the budget.
+//! Bound: the budget is exceeded only by the sessions that idle fronts start within their equal quotas before the other
+//! fronts have received reports of them and reduced their quotas: by less than the budget once more, (N - 1) / N of it,
+//! for the delay of the reports and the length of a session (previews that cross are capped sooner). Without reports the
+//! sum is the budget.
 use crankpaddle_time::Time;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-/// All fronts together take this share of the headroom that reports show in a step (a second). What crosses follows the
-/// quotas by about the length of a session, so headroom seems to be there for that long after it was given away.
-/// Why so little: at a quarter of the headroom a step the fronts oscillate around the budget and use 7 in 100 more than it
-/// on the mean.
-const GROWTH: f64 = 0.04;
-/// Headroom ends this much below the budget: chance lifts what crosses over it at times, and then all fronts give back.
-const FULL: f64 = 0.99;
-/// A quota exceeds its use by this factor at the most, unless it is an equal one: what is unused must be left to others.
+/// All fronts together take this share of the reported headroom in an update (a second).
+/// Why so little: the traffic follows the quotas after about the length of a session, and reports show headroom for that
+/// long after it was taken. At a quarter of the headroom in an update the fronts oscillate around the budget and use 7 in
+/// 100 more than it on the mean.
+const GROWTH_PER_UPDATE: f64 = 0.04;
+/// Total usage at which there is no headroom. Why below the budget: at times the traffic exceeds its mean by chance, and
+/// when it exceeds the budget, all fronts reduce their quotas.
+const MAX_TOTAL_USAGE: f64 = 0.99;
+/// A quota exceeds the usage by this factor at the most, unless it is an equal one: unused budget is left to other fronts.
 const MAX_QUOTA_OVER_USAGE: f64 = 1.5;
-/// A quota this much above the equal one depends on reports; less is a rounding error.
-const EXCEEDS_EQUAL_QUOTA: f64 = 1.01;
+/// A quota above the equal one by this factor depends on reports; less is a rounding error.
+const MIN_EXCESS_FACTOR: f64 = 1.01;
 /// A report older than this is not used.
 const REPORT_TTL: Duration = Duration::from_millis(3500);
 /// Time between updates.
 const UPDATE_INTERVAL: Duration = Duration::from_secs(1);
-/// Demand lasts so long after a session was held back.
+/// How long demand lasts after a session was held back.
 const DEMAND_DURATION: Duration = Duration::from_secs(10);
 /// Weight of an update in the mean usage. Why so small: sessions start in bursts, whenever the debt has drained; a quota
-/// that followed each burst and gap would fall back to an equal one again and again.
+/// that followed each burst and gap would repeatedly fall back to the equal one.
 const MEAN_USAGE_WEIGHT: f64 = 1.0 / 15.0;
 
-/// Usage that was observed at a time; of a rate or of a budget, as the context states.
+/// Usage that was observed at a time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct ObservedUsage {
     /// The time.
@@ -55,14 +57,14 @@
     rate_kb_by_class: BTreeMap<u8, f64>,
 }
 
-/// What servers of a zone report as crossing to one other zone, by class, all fronts together.
+/// What the servers of a zone report to send to one other zone, by class, for all fronts.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct UsageReports {
     latest: BTreeMap<u32, ServerReport>,
 }
 
 impl UsageReports {
-    /// A server reports what it sends across, kB a second by class. A report older than the latest one is ignored.
+    /// Records a server's report, kB a second by class. A report older than the latest one is ignored.
     pub(crate) fn record(&mut self, server: u32, at: Time, rate_kb_by_class: BTreeMap<u8, f64>) {
         let is_outdated = self.latest.get(&server).is_some_and(|known| at < known.at);
         if !is_outdated {
@@ -74,7 +76,7 @@
         }
     }
 
-    /// A server was removed, and nothing crosses from it.
+    /// A server was removed, so it sends nothing.
     pub(crate) fn server_removed(&mut self, server: u32) {
         self.latest.remove(&server);
     }
@@ -145,7 +147,7 @@
         self.last_demand = Some(now);
     }
 
-    /// Whether more was requested recently; then reports of all servers are worth receiving.
+    /// Whether more was requested recently; then the reports of all servers are needed.
     #[must_use]
     pub(crate) fn has_demand(&self, now: Time) -> bool {
         self.last_demand
@@ -154,8 +156,8 @@
 
     /// Whether the quota exceeds an equal one, which only reports allow.
     #[must_use]
-    pub(crate) fn exceeds_equal_share(&self) -> bool {
-        self.quota > self.equal_quota * EXCEEDS_EQUAL_QUOTA
+    pub(crate) fn exceeds_equal_quota(&self) -> bool {
+        self.quota > self.equal_quota * MIN_EXCESS_FACTOR
     }
 
     /// Updates the quota, about once a second: `own_usage` of this front now, and the usage of all fronts at an earlier
@@ -193,9 +195,9 @@
 
     /// This front's usage at the time that a report describes; `None` where no update was near that time.
     ///
-    /// Why not the usage now: compared with the total of some seconds ago it gives no meaningful share. A front whose
-    /// sessions were just capped took itself for a small one and gave back what it alone had used. Updates and reports are
-    /// out of step by up to a second; the larger usage in that time is taken.
+    /// Why not the present usage: the report describes a time some seconds ago. A front whose sessions had just been capped
+    /// would compare its reduced usage with the earlier total and give up quota that it alone had used. Updates and reports
+    /// are up to a second apart; the larger usage in that time is taken.
     fn own_usage_near(&self, at: Time) -> Option<f64> {
         self.recent_usage
             .iter()
@@ -210,13 +212,13 @@
         self.quota = self.quota.min(own_usage.min(total_usage) / total_usage);
     }
 
-    /// Grows the quota by this front's weight of the headroom.
+    /// Grows the quota by this front's share of the headroom.
     fn grow(&mut self, own_usage: f64, total_usage: f64) {
         let weight = own_usage.max(self.equal_quota) / (1.0 + total_usage);
         let max_quota =
             (own_usage.max(self.mean_usage) * MAX_QUOTA_OVER_USAGE).max(self.equal_quota);
-        let headroom = (FULL - total_usage).max(0.0);
-        self.quota = (self.quota + GROWTH * headroom * weight).min(max_quota);
+        let headroom = (MAX_TOTAL_USAGE - total_usage).max(0.0);
+        self.quota = (self.quota + GROWTH_PER_UPDATE * headroom * weight).min(max_quota);
     }
 }
 
--- a/crates/cross-zone-traffic/src/quota_share/tests.rs
+++ b/crates/cross-zone-traffic/src/quota_share/tests.rs
@@ -30,7 +30,7 @@
         share.update(at(step), own, observed(at(step), own));
     }
     assert!(
-        share.quota > 0.9 && share.exceeds_equal_share(),
+        share.quota > 0.9 && share.exceeds_equal_quota(),
         "{}",
         share.quota
     );
@@ -70,7 +70,7 @@
             })
             .sum();
         assert!(
-            grown > 0.0 && grown <= GROWTH * (1.0 - all) + 1e-9,
+            grown > 0.0 && grown <= GROWTH_PER_UPDATE * (1.0 - all) + 1e-9,
             "{fronts}: {grown}"
         );
     }
--- a/crates/cross-zone-traffic/src/report/build.rs
+++ b/crates/cross-zone-traffic/src/report/build.rs
@@ -1,8 +1,8 @@
 //! Builds the report of a front from its traffic controller.
 use super::names::purpose_name;
 use super::types::{BudgetReport, ByteTotals, FlowReport, TrafficReport};
-use super::{milliseconds, TrafficNames};
-use crate::cross_zone_admission::{BudgetStatus, CapReason};
+use super::{to_milliseconds, TrafficNames};
+use crate::cross_zone_admission::{BudgetStatus, OverdraftCause};
 use crate::traffic_controller::TrafficController;
 use crate::usage_accounting::{Flow, FlowTotals};
 use crate::windows::Span;
@@ -30,7 +30,7 @@
             .collect();
         TrafficReport {
             front,
-            at_ms: milliseconds(now),
+            at_ms: to_milliseconds(now),
             flows,
             budgets,
             unsettled_sessions: account.unsettled_sessions() as u64,
@@ -50,15 +50,15 @@
         level: status.level.is_finite().then_some(status.level),
         paid_kb: status.paid_kb,
         other_kb: status.other_kb,
-        overdraft_zone_down_bytes: overdraft_bytes(status, CapReason::LocalZoneDown),
-        overdraft_zone_full_bytes: overdraft_bytes(status, CapReason::LocalZoneFull),
-        written_off_bytes: status.written_off as u64,
+        overdraft_zone_down_bytes: overdraft_bytes(status, OverdraftCause::LocalZoneDown),
+        overdraft_zone_full_bytes: overdraft_bytes(status, OverdraftCause::LocalZoneFull),
+        written_off_bytes: status.written_off_bytes as u64,
         capped_sessions: status.capped_sessions as u64,
     }
 }
 
-fn overdraft_bytes(status: &BudgetStatus, cause: CapReason) -> u64 {
-    status.overdrafts.get(&cause).copied().unwrap_or(0.0) as u64
+fn overdraft_bytes(status: &BudgetStatus, cause: OverdraftCause) -> u64 {
+    status.overdraft_bytes.get(&cause).copied().unwrap_or(0.0) as u64
 }
 
 fn flow_report(flow: &Flow, totals: &FlowTotals, names: &TrafficNames) -> FlowReport {
@@ -74,7 +74,7 @@
         measured_bytes: totals.measured.total(),
         corrected_bytes: totals.corrected.total(),
         estimated_bytes: totals.estimated.total(),
-        overstated_bytes: totals.overstated,
+        overstated_bytes: totals.overstated_bytes,
         minutes: byte_totals(totals.recent(Span::Minute)),
         hours: byte_totals(totals.recent(Span::Hour)),
     }
@@ -84,7 +84,7 @@
     bytes_by_start
         .into_iter()
         .map(|(start, bytes)| ByteTotals {
-            at_ms: milliseconds(start),
+            at_ms: to_milliseconds(start),
             bytes,
         })
         .collect()
--- a/crates/cross-zone-traffic/src/report/mod.rs
+++ b/crates/cross-zone-traffic/src/report/mod.rs
@@ -14,10 +14,10 @@
 /// Nanoseconds in a millisecond, the unit of points in time in reports.
 const NANOSECONDS_PER_MILLISECOND: u64 = 1_000_000;
 
-fn milliseconds(time: Time) -> u64 {
+fn to_milliseconds(time: Time) -> u64 {
     time.as_nanos() / NANOSECONDS_PER_MILLISECOND
 }
 
-fn time_of(milliseconds: u64) -> Time {
+fn from_milliseconds(milliseconds: u64) -> Time {
     Time(milliseconds.saturating_mul(NANOSECONDS_PER_MILLISECOND))
 }
--- a/crates/cross-zone-traffic/src/report/saved.rs
+++ b/crates/cross-zone-traffic/src/report/saved.rs
@@ -1,7 +1,7 @@
 //! Reads back the usage account from a report that a previous incarnation of the front saved.
 use super::names::purpose_of;
 use super::types::{FlowReport, TrafficReport};
-use super::{time_of, TrafficNames};
+use super::{from_milliseconds, TrafficNames};
 use crate::usage_accounting::{Flow, SavedFlow, OTHER_FLOWS};
 use crate::windows::SpanTotal;
 use std::collections::BTreeMap;
@@ -40,22 +40,24 @@
 fn empty(flow: Flow) -> SavedFlow {
     SavedFlow {
         flow,
-        measured: 0,
-        corrected: 0,
-        estimated: 0,
-        overstated: 0,
+        measured_bytes: 0,
+        corrected_bytes: 0,
+        estimated_bytes: 0,
+        overstated_bytes: 0,
         hours: Vec::new(),
     }
 }
 
 impl SavedFlow {
     fn add(&mut self, report: &FlowReport) {
-        self.measured = self.measured.saturating_add(report.measured_bytes);
-        self.corrected = self.corrected.saturating_add(report.corrected_bytes);
-        self.estimated = self.estimated.saturating_add(report.estimated_bytes);
-        self.overstated = self.overstated.saturating_add(report.overstated_bytes);
+        self.measured_bytes = self.measured_bytes.saturating_add(report.measured_bytes);
+        self.corrected_bytes = self.corrected_bytes.saturating_add(report.corrected_bytes);
+        self.estimated_bytes = self.estimated_bytes.saturating_add(report.estimated_bytes);
+        self.overstated_bytes = self
+            .overstated_bytes
+            .saturating_add(report.overstated_bytes);
         let hours = report.hours.iter().map(|hour| SpanTotal {
-            start: time_of(hour.at_ms),
+            start: from_milliseconds(hour.at_ms),
             bytes: hour.bytes,
         });
         self.hours.extend(hours);
--- a/crates/cross-zone-traffic/src/traffic_controller/attempts.rs
+++ b/crates/cross-zone-traffic/src/traffic_controller/attempts.rs
@@ -1,10 +1,10 @@
-//! Attempts to set sessions up, as far as traffic is concerned: in progress, established, or failed and not counted yet.
+//! The traffic of attempts to set sessions up: in progress, established, or failed and not counted yet.
 use crate::usage_accounting::{Flow, Purpose};
 use crankpaddle_time::Time;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-/// The final count of a failed attempt is waited for so long.
+/// How long the final count of a failed attempt is waited for.
 const FINAL_COUNT_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// An attempt to set a session up.
@@ -26,6 +26,15 @@
     pub rung: u8,
 }
 
+/// How an attempt or session ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// Its server is expected to send a final count.
+    Completed,
+    /// Its server is lost and sends no final count; a session counts as active until the server was last received from.
+    ServerLost,
+}
+
 /// An attempt that has not ended.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ActiveAttempt {
@@ -41,6 +50,7 @@
     ended_at: Time,
 }
 
+/// The attempts of a front whose traffic is not fully counted.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Attempts {
     active: HashMap<u64, ActiveAttempt>,
--- a/crates/cross-zone-traffic/src/traffic_controller/config.rs
+++ b/crates/cross-zone-traffic/src/traffic_controller/config.rs
@@ -3,11 +3,11 @@
 use crate::cross_zone_admission::CrossZoneLimit;
 use std::time::Duration;
 
-/// A class as far as traffic is concerned.
+/// The properties of a class that matter for its traffic.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TrafficClass {
     /// Whether it has priority over budgets.
-    pub paid: bool,
+    pub is_paid: bool,
     /// Its rate at each rung, kB a second.
     pub rung_rates_kb: Vec<f64>,
 }
@@ -21,9 +21,9 @@
     pub zone: u8,
     /// Classes by number.
     pub classes: Vec<TrafficClass>,
-    /// Budgets for what goes from other zones to its own.
+    /// Budgets for the traffic from other zones to its own.
     pub limits: Vec<CrossZoneLimit>,
-    /// How late counts and reports of servers are.
+    /// How old the counts and reports of servers are when they arrive.
     pub report_delay: Duration,
 }
 
--- a/crates/cross-zone-traffic/src/traffic_controller/mod.rs
+++ b/crates/cross-zone-traffic/src/traffic_controller/mod.rs
@@ -1,16 +1,16 @@
-//! A front's traffic controller: the usage account and the budgets, and how events of sessions drive both.
+//! A front's traffic controller: its usage account and budgets, updated by the events of sessions and servers.
 //!
-//! Events in, changes out; the caller supplies the time. Before a request is placed, the placement module is notified of
-//! the [`TrafficController::policy_changes`] and of the rate caps that [`TrafficController::tick`] returns.
+//! The caller supplies the time. Before a request is placed, it notifies the placement module of the
+//! [`TrafficController::policy_changes`] and of the rate caps that [`TrafficController::tick`] returned.
 mod attempts;
 mod config;
 mod server_zones;
 
-pub use attempts::AttemptUsage;
+pub use attempts::{AttemptEnd, AttemptUsage};
 pub use config::{TrafficClass, TrafficConfig};
 
 use crate::cross_zone_admission::{
-    BudgetStatus, CapReason, CrossZoneAdmission, PolicyChange, RateCapChanges, SessionStart,
+    BudgetStatus, CrossZoneAdmission, OverdraftCause, PolicyChange, RateCapChanges, SessionStart,
 };
 use crate::usage_accounting::{Flow, Purpose, SavedFlow, UsageAccount, UsageConfig};
 use attempts::{ActiveAttempt, Attempts};
@@ -19,7 +19,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// A count or report is waited for so many times its usual delay ...
+/// A count or report is waited for this many times its usual delay ...
 const SETTLE_DELAY_FACTOR: u32 = 3;
 /// ... and this much longer.
 const SETTLE_DELAY_MARGIN: Duration = Duration::from_secs(2);
@@ -28,7 +28,7 @@
 /// Flows with totals of their own at most.
 const MAX_FLOWS: usize = 1024;
 /// The mean session length that is assumed at first, seconds.
-const INITIAL_SESSION_LENGTH: f64 = 30.0;
+const INITIAL_SESSION_SECONDS: f64 = 30.0;
 /// The lowest rung.
 const LOWEST_RUNG: u8 = 0;
 
@@ -51,14 +51,14 @@
             delivery_report_ttl: DELIVERY_REPORT_TTL,
             max_flows: MAX_FLOWS,
         };
-        let paid_classes = config.classes.iter().map(|class| class.paid).collect();
+        let paid_classes = config.classes.iter().map(|class| class.is_paid).collect();
         TrafficController {
             account: UsageAccount::new(usage_config),
             admission: CrossZoneAdmission::new(
                 paid_classes,
                 &config.limits,
                 config.position,
-                INITIAL_SESSION_LENGTH,
+                INITIAL_SESSION_SECONDS,
             ),
             servers: ServerZones::default(),
             attempts: Attempts::default(),
@@ -66,7 +66,7 @@
         }
     }
 
-    /// Changes the configuration; what was counted, flows and is owed stays. Classes keep their numbers.
+    /// Changes the configuration; counted bytes, sessions and debt stay. Classes keep their numbers.
     pub fn reconfigure(&mut self, config: TrafficConfig) {
         self.admission.reconfigure(&config.limits, config.position);
         self.config = config;
@@ -80,16 +80,16 @@
 
 /// Events of servers.
 impl TrafficController {
-    /// A server is listed in a zone; `up`: whether it accepts or finishes work there.
-    pub fn endpoint_listed(&mut self, server: u32, zone: u8, up: bool) {
+    /// A server is listed in a zone; `is_up`: whether it accepts or finishes work there.
+    pub fn endpoint_listed(&mut self, server: u32, zone: u8, is_up: bool) {
         if let Some(previous) = self.servers.assign(server, zone) {
             self.servers.set_up(server, previous, false);
             self.update_admission_servers(previous);
         }
-        if self.servers.set_up(server, zone, up) {
+        if self.servers.set_up(server, zone, is_up) {
             self.update_admission_servers(zone);
         }
-        if !up {
+        if !is_up {
             self.admission.server_lost(zone, server);
         }
     }
@@ -114,7 +114,7 @@
         self.servers.zone(server)
     }
 
-    /// A server was alive until now, whether or not it still is.
+    /// A server was alive until now, although it may have been lost since.
     pub fn server_alive(&mut self, server: u32, now: Time) {
         self.servers.record_received(server, now);
     }
@@ -130,7 +130,7 @@
         }
     }
 
-    /// A server can't be reached: until something is received from it again nothing crosses from it.
+    /// A server can't be reached: it sends nothing until a message of it is received again.
     pub fn server_lost(&mut self, server: u32) {
         if let Some(zone) = self.servers.zone(server) {
             self.servers.set_up(server, zone, false);
@@ -138,7 +138,7 @@
         }
     }
 
-    /// A server reports what crosses from it to this front's zone, kB a second by class, all fronts together.
+    /// A server reports what it sends to this front's zone for all fronts, kB a second by class.
     pub fn usage_reported(&mut self, server: u32, rate_kb_by_class: BTreeMap<u8, f64>, now: Time) {
         self.server_connected(server, now);
         if let Some(zone) = self.servers.zone(server) {
@@ -148,7 +148,7 @@
         }
     }
 
-    /// A server reports what share of all rates it delivers; the report describes the time before its delay.
+    /// A server reports which share of all rates it delivers; the report describes the time before its delay.
     pub fn delivery_reported(&mut self, server: u32, share: f64, now: Time) {
         self.server_connected(server, now);
         let at = self.described_time(now);
@@ -196,18 +196,18 @@
                 class: flow.class,
                 rate_kb,
                 lowest_rate_kb: self.config.rate_kb(usage.class, LOWEST_RUNG),
-                cause: self.crossing_cause(),
+                overdraft_cause: self.overdraft_cause(),
             };
             self.admission.session_started(now, start);
         }
     }
 
     /// Why a paid session would cross beyond its budget now.
-    fn crossing_cause(&self) -> CapReason {
+    fn overdraft_cause(&self) -> OverdraftCause {
         if self.servers.has_server_up(self.config.zone) {
-            CapReason::LocalZoneFull
+            OverdraftCause::LocalZoneFull
         } else {
-            CapReason::LocalZoneDown
+            OverdraftCause::LocalZoneDown
         }
     }
 
@@ -221,9 +221,8 @@
         self.admission.rate_changed(now, id, rate_kb);
     }
 
-    /// An attempt or session ended. `server_lost`: its server is lost and will send no final count; then the session flowed
-    /// until the server was last received from.
-    pub fn attempt_ended(&mut self, id: u64, server_lost: bool, now: Time) {
+    /// An attempt or session ended.
+    pub fn attempt_ended(&mut self, id: u64, end: AttemptEnd, now: Time) {
         let Some(attempt) = self.attempts.remove(id) else {
             return;
         };
@@ -232,15 +231,15 @@
             return;
         }
         let last_received = self.servers.last_received(attempt.usage.server);
-        let flowed_until = match last_received {
-            Some(received_at) if server_lost => received_at.min(now),
+        let ended_at = match (end, last_received) {
+            (AttemptEnd::ServerLost, Some(received_at)) => received_at.min(now),
             _ => now,
         };
-        self.account.session_ended(id, flowed_until);
+        self.account.session_ended(id, ended_at);
         self.admission.session_ended(now, id);
     }
 
-    /// A server counted so many bytes for a session; the count describes the time before its delay.
+    /// A server has counted `bytes` for a session since its start; the count describes the time before its delay.
     pub fn bytes_counted(&mut self, id: u64, bytes: u64, now: Time) {
         if self.attempts.is_established(id) {
             let at = self.described_time(now);
@@ -259,8 +258,8 @@
 
 /// Decisions and periodic work.
 impl TrafficController {
-    /// How classes may be served from zones, where that changed since the previous call. Notify the placement module of it
-    /// before a request is placed.
+    /// How classes may be served from zones, where that changed since the previous call. Notify the placement module of the
+    /// changes before a request is placed.
     pub fn policy_changes(&mut self, now: Time) -> Vec<PolicyChange> {
         self.admission.policy_changes(now)
     }
@@ -283,12 +282,12 @@
         self.admission.tick(now)
     }
 
-    /// Settles up to `max_sessions` sessions; true when that completed a round.
+    /// Settles up to `max_sessions` sessions; returns whether that completed a round over all of them.
     pub fn settle_usage(&mut self, now: Time, max_sessions: usize) -> bool {
         self.account.settle(now, max_sessions)
     }
 
-    /// Restores what a previous incarnation saved; false where something was counted already.
+    /// Restores the totals that a previous incarnation saved; false where something was counted already.
     pub fn restore(&mut self, saved_flows: &[SavedFlow]) -> bool {
         self.account.restore(saved_flows)
     }
--- a/crates/cross-zone-traffic/src/traffic_controller/server_zones.rs
+++ b/crates/cross-zone-traffic/src/traffic_controller/server_zones.rs
@@ -2,6 +2,7 @@
 use crankpaddle_time::Time;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+/// The servers that a front knows.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ServerZones {
     zone_by_server: HashMap<u32, u8>,
@@ -21,10 +22,10 @@
         (previous != zone).then_some(previous)
     }
 
-    /// Marks a server of a zone as up or not; whether that is a change.
-    pub(super) fn set_up(&mut self, server: u32, zone: u8, up: bool) -> bool {
+    /// Marks a server of a zone as up or not; returns whether that is a change.
+    pub(super) fn set_up(&mut self, server: u32, zone: u8, is_up: bool) -> bool {
         let servers = self.up_by_zone.entry(zone).or_default();
-        if up {
+        if is_up {
             servers.insert(server)
         } else {
             servers.remove(&server)
--- a/crates/cross-zone-traffic/src/usage_accounting/flow.rs
+++ b/crates/cross-zone-traffic/src/usage_accounting/flow.rs
@@ -1,4 +1,4 @@
-//! Flows: where bytes went and for whom, and their totals by how the bytes are known.
+//! Flows (zones, class, tenant and title group of bytes), and their totals by how the bytes are known.
 use crate::windows::{Span, SpanTotal, Windows};
 use crankpaddle_time::Time;
 use std::collections::BTreeMap;
@@ -15,7 +15,7 @@
     FailedAttempt,
 }
 
-/// Which way bytes went, and for whom.
+/// The zones, class, tenant, title group and purpose of bytes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Flow {
     /// Zone of the server.
@@ -70,8 +70,8 @@
     pub corrected: Windows,
     /// Estimated from rung and time alone.
     pub estimated: Windows,
-    /// Bytes that were settled and that a later count showed were never sent.
-    pub overstated: u64,
+    /// Bytes that were settled, but never sent according to a later count.
+    pub overstated_bytes: u64,
 }
 
 impl FlowTotals {
@@ -93,7 +93,7 @@
         self.sources()
             .iter()
             .fold(0u64, |sum, windows| sum.saturating_add(windows.total()))
-            .saturating_sub(self.overstated)
+            .saturating_sub(self.overstated_bytes)
     }
 
     /// Bytes of the recent spans in which there were any, by the start of the span.
@@ -116,10 +116,10 @@
         for hour in &saved.hours {
             self.measured.add(hour.start, hour.bytes);
         }
-        self.measured.set_total(saved.measured);
-        self.corrected.set_total(saved.corrected);
-        self.estimated.set_total(saved.estimated);
-        self.overstated = saved.overstated;
+        self.measured.set_total(saved.measured_bytes);
+        self.corrected.set_total(saved.corrected_bytes);
+        self.estimated.set_total(saved.estimated_bytes);
+        self.overstated_bytes = saved.overstated_bytes;
     }
 }
 
@@ -135,13 +135,13 @@
     /// The flow.
     pub flow: Flow,
     /// Bytes counted by servers.
-    pub measured: u64,
+    pub measured_bytes: u64,
     /// Estimated bytes, corrected by delivery reports.
-    pub corrected: u64,
+    pub corrected_bytes: u64,
     /// Bytes estimated from rung and time alone.
-    pub estimated: u64,
+    pub estimated_bytes: u64,
     /// Bytes that were settled and never sent.
-    pub overstated: u64,
+    pub overstated_bytes: u64,
     /// Recent hours, with the bytes of all three sources.
     pub hours: Vec<SpanTotal>,
 }
@@ -150,10 +150,10 @@
     pub(super) fn new(flow: Flow, totals: &FlowTotals) -> SavedFlow {
         SavedFlow {
             flow,
-            measured: totals.measured.total(),
-            corrected: totals.corrected.total(),
-            estimated: totals.estimated.total(),
-            overstated: totals.overstated,
+            measured_bytes: totals.measured.total(),
+            corrected_bytes: totals.corrected.total(),
+            estimated_bytes: totals.estimated.total(),
+            overstated_bytes: totals.overstated_bytes,
             hours: totals
                 .recent(Span::Hour)
                 .into_iter()
--- a/crates/cross-zone-traffic/src/usage_accounting/mod.rs
+++ b/crates/cross-zone-traffic/src/usage_accounting/mod.rs
@@ -1,12 +1,12 @@
-//! Bytes by flow: counted by servers, or estimated from the rung in force and the share delivered where no count came.
+//! Bytes by flow: counted by servers, or estimated from the current rung and the share delivered where no count arrived.
 //!
 //! Servers send cumulative counts of each session while it plays and when it ends. They may arrive late, duplicated, out
 //! of order or not at all; since a count is cumulative, a missing one costs nothing and a duplicate changes nothing.
-//! Bytes are settled when their time is old enough that a count of it would have arrived: between two counts they are
-//! spread evenly (measured); beyond the last they follow the rung in force, times the share that the server reported as
-//! delivered (corrected), or the rung alone (estimated). Settled bytes stay in their second. A count that shows that too
-//! much was settled is taken off the total of the flow (overstated), so totals agree with the servers in the end and
-//! can decrease by what one session was overstated.
+//! Bytes are settled when their time is so old that a count of it would have arrived: between two counts they are spread
+//! evenly (measured); beyond the last one they follow the current rung, times the share that the server reported as
+//! delivered (corrected), or the rung alone (estimated). Settled bytes stay in their second. If a later count is below the
+//! settled bytes, the difference is subtracted from the total of the flow (overstated). So totals agree with the servers
+//! in the end, and can decrease by the overstated bytes of a session.
 mod delivery_reports;
 mod flow;
 mod session_usage;
@@ -25,7 +25,7 @@
 /// How usage is accounted.
 #[derive(Clone, Copy, Debug)]
 pub struct UsageConfig {
-    /// Bytes are settled at this age: the latest that a count or report is waited for.
+    /// Bytes are settled at this age; counts and reports are waited for until then.
     pub settle_delay: Duration,
     /// A delivery report holds until the next, but no longer than this.
     pub delivery_report_ttl: Duration,
@@ -61,7 +61,7 @@
         }
     }
 
-    /// A session starts to flow; one that flows already is left as it is.
+    /// A session starts; a session that is known already stays as it is.
     pub fn session_started(
         &mut self,
         session: u64,
@@ -84,7 +84,7 @@
         }
     }
 
-    /// A server counted so many bytes in all for a session, by a time.
+    /// A server has counted `bytes` for a session from its start until a time.
     pub fn bytes_counted(&mut self, session: u64, bytes: u64, at: Time) {
         let at = self.advance_clock(at);
         match self.sessions.get_mut(&session) {
@@ -131,9 +131,9 @@
         self.delivery.record(server, share.clamp(0.0, 1.0), at);
     }
 
-    /// Settles what is old enough, `max_sessions` at a time so that a call takes bounded time whatever the number of
-    /// sessions; true when the round is complete. Call it until it is, about once a second. A time that goes back changes
-    /// nothing.
+    /// Settles the bytes that are old enough, of up to `max_sessions` sessions so that a call takes bounded time; returns
+    /// whether the round over all sessions is complete. Call it until it is, about once a second. A time that goes back
+    /// changes nothing.
     pub fn settle(&mut self, now: Time, max_sessions: usize) -> bool {
         self.advance_clock(now);
         let horizon = self.settle_horizon();
@@ -169,7 +169,7 @@
         visited
     }
 
-    /// Advances the clock, which never goes back; the time, but none that is settled already.
+    /// Advances the clock, which never goes back. Returns the given time, or the settlement horizon if that is later.
     fn advance_clock(&mut self, at: Time) -> Time {
         self.now = self.now.max(at);
         at.max(self.settle_horizon())
@@ -204,7 +204,7 @@
         bytes_by_start
     }
 
-    /// Sessions that flow or wait for their last counts.
+    /// Sessions that are active or wait for their last counts.
     #[must_use]
     pub fn unsettled_sessions(&self) -> usize {
         self.sessions.len()
@@ -216,7 +216,7 @@
         self.dropped_late_reports
     }
 
-    /// All that must survive a restart.
+    /// The totals that must survive a restart.
     #[must_use]
     pub fn snapshot(&self) -> Vec<SavedFlow> {
         self.flows()
--- a/crates/cross-zone-traffic/src/usage_accounting/session_usage.rs
+++ b/crates/cross-zone-traffic/src/usage_accounting/session_usage.rs
@@ -1,18 +1,18 @@
 //! The bytes of one session: its rates, the counts of its server, and how far both are settled.
 use super::delivery_reports::DeliveryReports;
 use super::flow::{ByteSource, Flow, TotalsByFlow};
-use crate::{BYTES_PER_KB, NANOSECONDS_PER_SECOND};
+use crate::{nanoseconds_between, BYTES_PER_KB, NANOSECONDS_PER_SECOND};
 use crankpaddle_time::{nanoseconds, Time};
 use std::time::Duration;
 
-/// Unsettled counts cached for a session. Counts are cumulative, so the oldest can go when there are more.
+/// Unsettled counts retained for a session. Counts are cumulative, so the oldest is dropped when there are more.
 const MAX_UNSETTLED_COUNTS: usize = 16;
 /// A settlement step lasts no longer than until the next full second, since totals are kept by second.
 const SECOND: Duration = Duration::from_secs(1);
 /// The smallest distance between two points in time; no step is shorter.
 const SMALLEST_STEP: Duration = Duration::from_nanos(1);
 
-/// A rate that is in force from a time on.
+/// A rate that applies from a time on.
 #[derive(Clone, Copy, Debug)]
 struct RateChange {
     at: Time,
@@ -26,12 +26,12 @@
     bytes: u64,
 }
 
-/// A session that flows, or that waits for its last counts.
+/// A session that is active, or that waits for its last counts.
 #[derive(Clone, Debug)]
 pub(super) struct SessionUsage {
     flow: Flow,
     server: u32,
-    /// By time; the first entry is in force at `settled_until`.
+    /// By time; the first one applies at `settled_until`.
     rates: Vec<RateChange>,
     /// By time; those after `settled_until`.
     unsettled_counts: Vec<CumulativeCount>,
@@ -45,7 +45,7 @@
     final_bytes: Option<u64>,
 }
 
-/// What rung and delivery share make from a time on.
+/// The rate that rung and delivery share give from a time on.
 #[derive(Clone, Copy, Debug)]
 struct RateEstimate {
     rate_kb: f64,
@@ -92,12 +92,12 @@
         if self.final_bytes.is_some() {
             return;
         }
-        // A count of a time that is settled already is brought forward by the estimate of what flowed since.
+        // The bytes up to that time may be settled already. Then the estimate of those sent since is added.
         let effective_at = at.max(self.settled_until + SMALLEST_STEP);
-        let flowed_since = self.estimated_bytes(at, effective_at, delivery);
+        let sent_since = self.estimated_bytes(at, effective_at, delivery);
         self.insert_count(CumulativeCount {
             at: effective_at,
-            bytes: bytes.saturating_add(flowed_since as u64),
+            bytes: bytes.saturating_add(sent_since as u64),
         });
     }
 
@@ -110,7 +110,7 @@
         let above_later = counts
             .get(index)
             .is_some_and(|later| later.bytes < count.bytes);
-        // Cumulative counts never decrease: this one was sent in another order than its time suggests.
+        // Cumulative counts never decrease: a count that contradicts its neighbours arrived out of order.
         if below_earlier || above_later {
             return;
         }
@@ -128,7 +128,7 @@
         self.ended_at = self.ended_at.or(Some(at.max(self.settled_until)));
     }
 
-    /// Records the server's final count; a second one changes nothing but removes the counts above it.
+    /// Records the server's final count. A second one does not replace it, but counts above it are removed too.
     pub(super) fn record_final_count(&mut self, bytes: u64) {
         self.final_bytes = self.final_bytes.or(Some(bytes));
         // No earlier count may exceed the final one.
@@ -179,8 +179,8 @@
             let remaining = count.bytes.saturating_sub(self.settled_bytes) as f64;
             return SettlementStep {
                 end,
-                bytes: remaining * float_nanoseconds(start, end)
-                    / float_nanoseconds(start, count.at),
+                bytes: remaining * nanoseconds_between(start, end)
+                    / nanoseconds_between(start, count.at),
                 source: ByteSource::Measured,
                 ends_at_count: count.at == end,
             };
@@ -225,7 +225,7 @@
             .retain(|count| count.at > settled_until);
     }
 
-    /// Settles what an estimate that was settled before the final count arrived differs from that count.
+    /// Settles the difference between the settled bytes and a final count that arrived after they were estimated.
     fn settle_difference(&mut self, totals: &mut TotalsByFlow) {
         let Some(final_bytes) = self.final_bytes else {
             return;
@@ -236,7 +236,7 @@
         }
         let overstated = self.settled_bytes - final_bytes;
         let flow_totals = totals.entry(self.flow);
-        flow_totals.overstated = flow_totals.overstated.saturating_add(overstated);
+        flow_totals.overstated_bytes = flow_totals.overstated_bytes.saturating_add(overstated);
         self.settled_bytes = final_bytes;
     }
 
@@ -247,7 +247,7 @@
         at: Time,
         bytes: u64,
     ) {
-        // Why: a flow without bytes must not take one of the bounded number of flows.
+        // Why: the number of flows is bounded, and a flow without bytes must not count.
         if bytes == 0 {
             return;
         }
@@ -297,11 +297,7 @@
 }
 
 fn bytes_between(rate_kb: f64, from: Time, to: Time) -> f64 {
-    rate_kb * BYTES_PER_KB * float_nanoseconds(from, to) / NANOSECONDS_PER_SECOND
-}
-
-fn float_nanoseconds(from: Time, to: Time) -> f64 {
-    nanoseconds(to.duration_since(from)) as f64
+    rate_kb * BYTES_PER_KB * nanoseconds_between(from, to) / NANOSECONDS_PER_SECOND
 }
 
 fn next_second_after(at: Time) -> Time {
--- a/crates/cross-zone-traffic/src/windows.rs
+++ b/crates/cross-zone-traffic/src/windows.rs
@@ -114,7 +114,7 @@
 }
 
 impl Windows {
-    /// Adds bytes that were sent at a time; those of a time older than the retained spans count in the total only.
+    /// Adds bytes that were sent at a time. Bytes older than the retained spans are added to the total only.
     pub fn add(&mut self, at: Time, bytes: u64) {
         self.seconds.add(at, bytes);
         self.minutes.add(at, bytes);
@@ -129,7 +129,7 @@
     }
 
     /// Replaces the total by one that was saved.
-    pub fn set_total(&mut self, total: u64) {
+    pub(crate) fn set_total(&mut self, total: u64) {
         self.total = total;
     }
 
--- a/crates/cross-zone-traffic/tests/cross_zone_admission.rs
+++ b/crates/cross-zone-traffic/tests/cross_zone_admission.rs
@@ -1,7 +1,7 @@
 //! Many fronts that share a budget without communicating, on one simulated clock. Servers report what crosses, with a delay.
 use crankpaddle_cross_zone_traffic::budget::{Budget, FrontPosition, SharedBudget};
 use crankpaddle_cross_zone_traffic::cross_zone_admission::{
-    CapReason, CrossZoneAdmission, CrossZoneLimit, CrossZonePolicy, PolicyChange, SessionStart,
+    CrossZoneAdmission, CrossZoneLimit, CrossZonePolicy, OverdraftCause, PolicyChange, SessionStart,
 };
 use crankpaddle_time::Time;
 use oorandom::Rand64;
@@ -14,10 +14,10 @@
 /// Thirty seconds of the rate: with 240 fronts a quota of it is still some sessions.
 const SHARED: SharedBudget = SharedBudget {
     rate_kb: RATE_KB,
-    burst: 1.2e9,
-    volume: f64::INFINITY,
+    burst_bytes: 1.2e9,
+    volume_bytes: f64::INFINITY,
     period: None,
-    repay: Duration::from_secs(60),
+    max_repayment_time: Duration::from_secs(60),
 };
 /// Rates that sessions request.
 const KB: [f64; 3] = [100.0, 250.0, 600.0];
@@ -40,7 +40,7 @@
         class,
         rate_kb: kb,
         lowest_rate_kb: KB[0],
-        cause: CapReason::LocalZoneDown,
+        overdraft_cause: OverdraftCause::LocalZoneDown,
     }
 }
 
@@ -192,7 +192,7 @@
                 }) += p.kb;
             }
             self.ahead = (self.ahead + (all_paid + all_rest - RATE_KB) * 100.0).max(0.0);
-            self.worst = self.worst.max(self.ahead / SHARED.burst);
+            self.worst = self.worst.max(self.ahead / SHARED.burst_bytes);
             bytes = (bytes.0 + all_paid * 100.0, bytes.1 + all_rest * 100.0);
         }
         bytes
@@ -336,7 +336,8 @@
     for fronts in [3u32, 40, 240] {
         let mut simulation = Simulation::new(fronts, SHARED, 9);
         let (_, first) = simulation.run(20, 200.0, 0.0, even);
-        let allowed = RATE_KB * 1000.0 * 20.0 + SHARED.burst + f64::from(fronts) * KB[2] * 12_000.0;
+        let allowed =
+            RATE_KB * 1000.0 * 20.0 + SHARED.burst_bytes + f64::from(fronts) * KB[2] * 12_000.0;
         // Lengths are drawn: those that last longer than the mean are charged as they flow.
         assert!(first <= allowed * 1.15, "{fronts}: {first} of {allowed}");
     }
@@ -355,7 +356,10 @@
     let status = simulation.fronts[3]
         .budget_statuses(simulation.now)
         .remove(0);
-    assert!(status.overdrafts[&CapReason::LocalZoneDown] > 0.0 && status.written_off > 0.0);
+    assert!(
+        status.overdraft_bytes[&OverdraftCause::LocalZoneDown] > 0.0
+            && status.written_off_bytes > 0.0
+    );
     // The zone has recovered: only previews request to cross now, and they wait until the overdraft is repaid.
     let waiting = simulation.share(30, 40.0, even);
     assert!(waiting < 0.5, "{waiting}");
@@ -440,7 +444,7 @@
                 1,
                 SharedBudget {
                     rate_kb: 2.0 * RATE_KB,
-                    burst: 2.4e9,
+                    burst_bytes: 2.4e9,
                     ..SHARED
                 },
             ),
@@ -473,7 +477,7 @@
 fn a_class_may_have_its_own_budget_and_previews_repay_what_paid_sessions_overdrew_in_it() {
     let tight = SharedBudget {
         rate_kb: 100.0,
-        burst: 4e6,
+        burst_bytes: 4e6,
         ..SHARED
     };
     let limits = [
@@ -540,10 +544,10 @@
 fn a_volume_is_held_in_each_period_and_clock_steps_change_nothing() {
     let shared = SharedBudget {
         rate_kb: 1e6,
-        burst: 1e12,
-        volume: 3e6,
+        burst_bytes: 1e12,
+        volume_bytes: 3e6,
         period: Some(60 * SECOND),
-        repay: 60 * SECOND,
+        max_repayment_time: 60 * SECOND,
     };
     let mut budget = Budget::new(
         shared,
--- a/crates/cross-zone-traffic/tests/report_digits.rs
+++ b/crates/cross-zone-traffic/tests/report_digits.rs
@@ -3,7 +3,7 @@
 use crankpaddle_cross_zone_traffic::cross_zone_admission::{CrossZoneLimit, PolicyChange};
 use crankpaddle_cross_zone_traffic::report::{merge, TrafficNames, TrafficReport};
 use crankpaddle_cross_zone_traffic::traffic_controller::{
-    AttemptUsage, TrafficClass, TrafficConfig, TrafficController,
+    AttemptEnd, AttemptUsage, TrafficClass, TrafficConfig, TrafficController,
 };
 use crankpaddle_time::Time;
 use oorandom::Rand64;
@@ -33,13 +33,13 @@
     }
 }
 
-fn limit(from: u8, class: Option<u8>, rate_kb: f64, volume: f64) -> CrossZoneLimit {
+fn limit(from: u8, class: Option<u8>, rate_kb: f64, volume_bytes: f64) -> CrossZoneLimit {
     let shared = SharedBudget {
         rate_kb,
-        burst: rate_kb * 7000.0,
-        volume,
+        burst_bytes: rate_kb * 7000.0,
+        volume_bytes,
         period: Some(50 * SECOND),
-        repay: 20 * SECOND,
+        max_repayment_time: 20 * SECOND,
     };
     CrossZoneLimit {
         from,
@@ -49,8 +49,8 @@
 }
 
 fn controller(index: u32) -> TrafficController {
-    let class = |paid, rates: [f64; 3]| TrafficClass {
-        paid,
+    let class = |is_paid, rates: [f64; 3]| TrafficClass {
+        is_paid,
         rung_rates_kb: rates.to_vec(),
     };
     let mut controller = TrafficController::new(TrafficConfig {
@@ -131,8 +131,12 @@
     fn advance_attempt(&mut self, id: u64, now: Time) {
         match self.below(40) {
             0 => {
-                let server_lost = self.below(3) == 0;
-                self.controller.attempt_ended(id, server_lost, now);
+                let end = if self.below(3) == 0 {
+                    AttemptEnd::ServerLost
+                } else {
+                    AttemptEnd::Completed
+                };
+                self.controller.attempt_ended(id, end, now);
                 let bytes = self.sent.remove(&id).unwrap_or(0);
                 if self.below(3) > 0 {
                     self.controller
--- a/crates/cross-zone-traffic/tests/traffic_controller.rs
+++ b/crates/cross-zone-traffic/tests/traffic_controller.rs
@@ -5,7 +5,7 @@
 };
 use crankpaddle_cross_zone_traffic::report::{merge, TrafficNames, TrafficReport};
 use crankpaddle_cross_zone_traffic::traffic_controller::{
-    AttemptUsage, TrafficClass, TrafficConfig, TrafficController,
+    AttemptEnd, AttemptUsage, TrafficClass, TrafficConfig, TrafficController,
 };
 use crankpaddle_cross_zone_traffic::usage_accounting::Purpose;
 use crankpaddle_time::Time;
@@ -30,10 +30,10 @@
 fn config(rate_kb: f64) -> TrafficConfig {
     let shared = SharedBudget {
         rate_kb,
-        burst: 2e6,
-        volume: f64::INFINITY,
+        burst_bytes: 2e6,
+        volume_bytes: f64::INFINITY,
         period: None,
-        repay: 20 * SECOND,
+        max_repayment_time: 20 * SECOND,
     };
     TrafficConfig {
         position: FrontPosition {
@@ -43,11 +43,11 @@
         zone: 0,
         classes: vec![
             TrafficClass {
-                paid: true,
+                is_paid: true,
                 rung_rates_kb: vec![50.0, 100.0],
             },
             TrafficClass {
-                paid: false,
+                is_paid: false,
                 rung_rates_kb: vec![40.0, 80.0],
             },
         ],
@@ -120,7 +120,7 @@
         (reported.paid_kb, reported.other_kb, reported.from.as_str()),
         (0.0, 800.0, "south")
     );
-    (100..110).for_each(|n| controller.attempt_ended(n, false, START + SECOND));
+    (100..110).for_each(|n| controller.attempt_ended(n, AttemptEnd::Completed, START + SECOND));
     (2..200).for_each(|s| drop(controller.tick(START + s * SECOND)));
     assert_eq!(
         controller.policy_changes(START + 200 * SECOND).len(),
@@ -168,11 +168,11 @@
     });
     controller.session_established(2, START);
     controller.attempt_started(attempt(3, 12, PREVIEW)); // Fails, but its server had started to send.
-    controller.attempt_ended(3, false, START + SECOND);
+    controller.attempt_ended(3, AttemptEnd::Completed, START + SECOND);
     controller.final_bytes_counted(3, 555, START + SECOND);
     controller.final_bytes_counted(3, 555, START + SECOND); // A duplicate.
     for id in [1, 2] {
-        controller.attempt_ended(id, false, START + 10 * SECOND);
+        controller.attempt_ended(id, AttemptEnd::Completed, START + 10 * SECOND);
         controller.final_bytes_counted(id, 1000 * id, START + 10 * SECOND);
     }
     settle(&mut controller, START + 60 * SECOND);
@@ -206,8 +206,8 @@
         controller.server_connected(11, START + s * SECOND + SECOND / 2);
     }
     controller.server_alive(12, START + 3 * SECOND); // Its process ended then, and its connection with it.
-    controller.attempt_ended(1, true, START + 9 * SECOND); // Silent since 5.5 s.
-    controller.attempt_ended(2, true, START + 9 * SECOND);
+    controller.attempt_ended(1, AttemptEnd::ServerLost, START + 9 * SECOND); // Silent since 5.5 s.
+    controller.attempt_ended(2, AttemptEnd::ServerLost, START + 9 * SECOND);
     settle(&mut controller, START + 60 * SECOND);
     let flow = report(&mut controller, START + 60 * SECOND).flows.remove(0);
     assert_eq!(
--- a/crates/cross-zone-traffic/tests/usage_accounting.rs
+++ b/crates/cross-zone-traffic/tests/usage_accounting.rs
@@ -281,7 +281,10 @@
         let (_, totals) = account.flows().next().unwrap();
         let by_source = [&totals.measured, &totals.corrected, &totals.estimated]
             .map(crankpaddle_cross_zone_traffic::windows::Windows::total);
-        assert_eq!(by_source.iter().sum::<u64>() - totals.overstated, total);
+        assert_eq!(
+            by_source.iter().sum::<u64>() - totals.overstated_bytes,
+            total
+        );
         assert_eq!(
             by_source[2] == 0,
             what != "only the final count",
@@ -299,7 +302,7 @@
         account.total(|_| true)
     );
     let (_, totals) = account.flows().next().unwrap();
-    assert!(totals.estimated.total() > 0 && totals.overstated > 0);
+    assert!(totals.estimated.total() > 0 && totals.overstated_bytes > 0);
 }
 
 #[test]
--- a/crates/daemon/src/event_loop/attempts.rs
+++ b/crates/daemon/src/event_loop/attempts.rs
@@ -1,5 +1,6 @@
 //! What becomes of an attempt between its set-up and its end.
 use super::{EventLoop, LiveAttempt};
+use crankpaddle_cross_zone_traffic::traffic_controller::AttemptEnd;
 use crankpaddle_front::{keys, AttemptId, AttemptOutcome, Input, SetUpResult};
 use crankpaddle_net::clock;
 use crankpaddle_recovery::intents::AttemptResult;
@@ -70,9 +71,14 @@
         let live = self.attempts.remove(&attempt)?;
         self.attempt_ids.remove(&live.name);
         self.record_attempt_result(attempt, &live.name, AttemptResult::Ended);
+        let end = if is_server_lost {
+            AttemptEnd::ServerLost
+        } else {
+            AttemptEnd::Completed
+        };
         self.traffic
             .controller
-            .attempt_ended(attempt.0, is_server_lost, clock::now());
+            .attempt_ended(attempt.0, end, clock::now());
         if let Some(state) = self.servers.get_mut(&live.server) {
             state.connection.session_ended(attempt);
         }
--- a/crates/daemon/src/traffic.rs
+++ b/crates/daemon/src/traffic.rs
@@ -42,7 +42,7 @@
     let settings = &config.settings;
     let rungs = settings.rung_kb.iter();
     let class = |class: &crankpaddle::Class| TrafficClass {
-        paid: class.idempotency == Idempotency::AtMostOnce,
+        is_paid: class.idempotency == Idempotency::AtMostOnce,
         rung_rates_kb: rungs.clone().map(|kb| kb * class.rate_factor).collect(),
     };
     TrafficConfig {
