Traffic: comments and names of the daemon's accounting, the merge and the plot

Merging flows and budgets was written twice and is one function. Names in the plot state minutes, milliseconds and kB; comments of the daemon's traffic accounting and maintenance say what the code does.

Measured: clippy of cross-zone-traffic, traffic-report and daemon is clean; the tests of cross-zone-traffic (38 passed) and traffic-report (6 passed, the printed bytes the same); of the daemon's tests traffic (4 passed) and http_texts (5 passed), the others were not run.

--- a/crates/cross-zone-traffic/src/report/merge.rs
+++ b/crates/cross-zone-traffic/src/report/merge.rs
@@ -56,10 +56,11 @@
         merged.unsettled_sessions += report.unsettled_sessions;
         merged.dropped_late_reports += report.dropped_late_reports;
         for flow in report.flows {
-            merge_flow(&mut flows, flow);
+            merge_entry(&mut flows, FlowNames::from(&flow), flow, FlowReport::add);
         }
         for budget in report.budgets {
-            merge_budget(&mut budgets, budget);
+            let names = BudgetNames::from(&budget);
+            merge_entry(&mut budgets, names, budget, BudgetReport::add);
         }
     }
     merged.flows = flows.into_values().collect();
@@ -83,21 +84,18 @@
     latest
 }
 
-fn merge_flow(flows: &mut BTreeMap<FlowNames, FlowReport>, flow: FlowReport) {
-    match flows.entry(FlowNames::from(&flow)) {
+/// Inserts a report, or adds it to the one that is merged under the same names.
+fn merge_entry<Names: Ord, Report>(
+    merged: &mut BTreeMap<Names, Report>,
+    names: Names,
+    report: Report,
+    add: impl FnOnce(&mut Report, &Report),
+) {
+    match merged.entry(names) {
         Entry::Vacant(vacant) => {
-            vacant.insert(flow);
+            vacant.insert(report);
         }
-        Entry::Occupied(occupied) => occupied.into_mut().add(&flow),
-    }
-}
-
-fn merge_budget(budgets: &mut BTreeMap<BudgetNames, BudgetReport>, budget: BudgetReport) {
-    match budgets.entry(BudgetNames::from(&budget)) {
-        Entry::Vacant(vacant) => {
-            vacant.insert(budget);
-        }
-        Entry::Occupied(occupied) => occupied.into_mut().add(&budget),
+        Entry::Occupied(occupied) => add(occupied.into_mut(), &report),
     }
 }
 
--- a/crates/cross-zone-traffic/src/report/names.rs
+++ b/crates/cross-zone-traffic/src/report/names.rs
@@ -11,9 +11,9 @@
     pub zones: Vec<String>,
     /// Names of classes.
     pub classes: Vec<String>,
-    /// Names of tenants; none: all sessions belong to one owner.
+    /// Names of tenants; empty where all sessions belong to one owner.
     pub tenants: Vec<String>,
-    /// Names of title groups; the first is that of titles without one.
+    /// Names of title groups; the first stands for titles without a group.
     pub groups: Vec<String>,
 }
 
@@ -85,6 +85,7 @@
     }
 }
 
+/// The purpose with a published name.
 pub(super) fn purpose_of(name: &str) -> Option<Purpose> {
     [
         Purpose::FirstAttempt,
--- a/crates/daemon/src/event_loop/maintenance.rs
+++ b/crates/daemon/src/event_loop/maintenance.rs
@@ -1,4 +1,4 @@
-//! Periodic upkeep: links, the connection pool, budgets, the traffic account and the store.
+//! Periodic maintenance: links, the connection pool, budgets, the traffic account and the store.
 use super::EventLoop;
 use crankpaddle_front::{AttemptId, Input, Time};
 use crankpaddle_net::clock;
@@ -17,8 +17,8 @@
         self.maintain_durable_state();
     }
 
-    /// Applies the budgets of cross-zone traffic: rate caps of sessions, policies of classes, and which
-    /// servers must report.
+    /// Applies the budgets of cross-zone traffic: caps rates of sessions, sets policies of classes, and subscribes
+    /// to the reports of servers.
     fn enforce_budgets(&mut self, now: Time) {
         let changes = self.traffic.controller.tick(now);
         self.cap_rates(&changes.cap, true);
@@ -36,8 +36,8 @@
         }
     }
 
-    /// Subscribes to servers whose reports are needed though no session is there: for budgets, or because the
-    /// list service does not report their starts.
+    /// Subscribes to servers without sessions whose reports are needed: for budgets, or because the list service
+    /// does not report their starts.
     fn update_report_subscriptions(&mut self, now: Time) {
         let zones = self.traffic.controller.zones_observed(now);
         for (server, state) in &self.servers {
@@ -48,7 +48,7 @@
         }
     }
 
-    /// Passes changes of how classes may be served from other zones to the core.
+    /// Notifies the core of changes of how classes may be served from other zones.
     pub(super) fn apply_cross_zone_policy(&mut self) {
         for change in self.traffic.controller.policy_changes(clock::now()) {
             let (zone, class, policy) = (change.zone, change.class, change.policy);
--- a/crates/daemon/src/traffic.rs
+++ b/crates/daemon/src/traffic.rs
@@ -14,12 +14,12 @@
 use std::time::Duration;
 use std::{fs, io};
 
-/// Sessions settled in one step, so that no message waits for many.
+/// Sessions settled in one step. Why a bound: the event loop handles no message during a step.
 const SESSIONS_PER_STEP: usize = 512;
 /// Bytes in a kilobyte, the unit of rates in the account.
 const BYTES_PER_KB: f64 = 1000.0;
 
-/// The traffic controller of a front, and the names of its numbers.
+/// A front's traffic controller, and the names of the zones, classes, tenants and title groups that it knows by number.
 pub(crate) struct TrafficAccounting {
     pub controller: TrafficController,
     names: TrafficNames,
@@ -57,8 +57,8 @@
     }
 }
 
-/// The settings that differ and keep the budgets of another configuration from being taken over without a
-/// restart.
+/// Changed settings that require a restart: the budgets of the new configuration can't be applied to a
+/// running front with them.
 pub(crate) fn changed_settings(old: &Config, new: &Config) -> Option<&'static str> {
     let before = traffic_config(old);
     let after = traffic_config(new);
@@ -82,7 +82,7 @@
 /// The account that a previous incarnation of this front saved, if there is one.
 ///
 /// # Errors
-/// The file can't be read or holds something else. It is not ignored: an account would begin at zero
+/// The file can't be read or holds something else. It is not ignored, because the account would start at zero
 /// unnoticed.
 pub(crate) fn load_saved_account(config: &Config) -> Result<Option<TrafficReport>, StartError> {
     let Some(path) = &config.traffic_file else {
@@ -93,13 +93,10 @@
         text => text.map_err(SavedFileError::from),
     };
     let report = text.and_then(|text| parse_account(&text, config.settings.front_index));
-    match report {
-        Ok(report) => Ok(Some(report)),
-        Err(source) => Err(StartError::SavedFile {
-            path: path.clone(),
-            source,
-        }),
-    }
+    report.map(Some).map_err(|source| StartError::SavedFile {
+        path: path.clone(),
+        source,
+    })
 }
 
 fn parse_account(text: &str, own_front: u32) -> Result<TrafficReport, SavedFileError> {
@@ -158,7 +155,7 @@
         });
     }
 
-    /// A server counted the bytes of this front's attempts, and the rates of what crosses to other zones.
+    /// A server reports the bytes of this front's attempts, and the rates that it sends to other zones.
     pub(crate) fn add_counts(
         &mut self,
         server: ServerId,
@@ -189,7 +186,7 @@
         rates
     }
 
-    /// Applies other budgets, and zones that were added; what was counted stays.
+    /// Applies other budgets and added zones; counted bytes stay.
     pub(crate) fn change_budgets(&mut self, config: &Config) {
         self.controller.reconfigure(traffic_config(config));
         self.names.zones.clone_from(&config.zones);
@@ -200,7 +197,7 @@
         self.is_settling = true;
     }
 
-    /// Settles the next sessions; whether some are left.
+    /// Settles the next sessions; returns whether sessions are left.
     pub(crate) fn settle_step(&mut self) -> bool {
         if self.is_settling {
             let now = clock::now();
--- a/crates/traffic-report/src/plot.rs
+++ b/crates/traffic-report/src/plot.rs
@@ -14,7 +14,7 @@
 /// Width and height, pixels.
 const SIZE: (u32, u32) = (960, 480);
 const MARGIN: u32 = 12;
-/// As printed so far: users call zones halls.
+/// Part of the output that users know; they call zones halls.
 const CAPTION: &str = "Traffic between halls, kB/s";
 const CAPTION_FONT: (&str, u32) = ("sans-serif", 18);
 const X_LABELS_HEIGHT: u32 = 36;
@@ -25,11 +25,11 @@
 const BUDGET_OPACITY: f64 = 0.5;
 const LEGEND_OPACITY: f64 = 0.8;
 /// The vertical axis exceeds the highest value by this factor.
-const TOP_MARGIN: f64 = 1.1;
+const TOP_FACTOR: f64 = 1.1;
 /// The vertical axis covers at least this much, kB a second.
 const MIN_TOP_KB: f64 = 1.0;
-/// The horizontal axis covers at least this much, minutes before the last one.
-const MIN_START: f64 = -1.0;
+/// The horizontal axis starts at least this much before the last minute, minutes.
+const MAX_START_MINUTES: f64 = -1.0;
 
 const MINUTE_MS: u64 = 60_000;
 const SECONDS_PER_MINUTE: f64 = 60.0;
@@ -46,13 +46,13 @@
 
 /// What is drawn.
 struct PlotData {
-    /// kB a second by the start of the minute, by label.
+    /// By label: kB a second by the start of the minute, milliseconds since 1970.
     rate_lines: BTreeMap<String, BTreeMap<u64, f64>>,
     budget_lines: Vec<BudgetLine>,
     /// Starts of the minutes in which anything crossed, milliseconds since 1970.
-    minutes: BTreeSet<u64>,
-    first_minute: u64,
-    last_minute: u64,
+    minutes_ms: BTreeSet<u64>,
+    first_minute_ms: u64,
+    last_minute_ms: u64,
 }
 
 /// An SVG of the rates that crossed over recent minutes, one line a class and zone pair, budgets as level lines.
@@ -71,46 +71,48 @@
 impl PlotData {
     fn new(report: &TrafficReport) -> Result<PlotData, PlotError> {
         let mut rate_lines: BTreeMap<String, BTreeMap<u64, f64>> = BTreeMap::new();
-        let mut minutes = BTreeSet::new();
+        let mut minutes_ms = BTreeSet::new();
         for flow in report.flows.iter().filter(|flow| flow.crosses) {
             for minute in &flow.minutes {
                 let label = format!("{} > {}, {}", flow.from, flow.to, flow.class);
                 let line = rate_lines.entry(label).or_default();
                 *line.entry(minute.at_ms).or_default() +=
                     minute.bytes as f64 / BYTES_PER_KB / SECONDS_PER_MINUTE;
-                minutes.insert(minute.at_ms);
+                minutes_ms.insert(minute.at_ms);
             }
         }
-        let (Some(first), Some(last)) = (minutes.first().copied(), minutes.last().copied()) else {
+        let (Some(first), Some(last)) = (minutes_ms.first().copied(), minutes_ms.last().copied())
+        else {
             return Err(PlotError::NothingCrossed);
         };
         Ok(PlotData {
             rate_lines,
             budget_lines: budget_lines(report),
-            minutes,
-            first_minute: first,
-            last_minute: last,
+            minutes_ms,
+            first_minute_ms: first,
+            last_minute_ms: last,
         })
     }
 
-    /// The position of a minute on the horizontal axis: minutes before the last one, as a negative number.
-    fn position(&self, at_ms: u64) -> f64 {
-        -(((self.last_minute - at_ms) / MINUTE_MS) as f64)
+    /// The position of a minute on the horizontal axis: its distance to the last one, in minutes, as a negative number.
+    fn position_minutes(&self, at_ms: u64) -> f64 {
+        -(((self.last_minute_ms - at_ms) / MINUTE_MS) as f64)
     }
 
-    /// Where the horizontal axis starts.
-    fn start(&self) -> f64 {
-        self.position(self.first_minute).min(MIN_START)
+    /// Where the horizontal axis starts, minutes.
+    fn start_minutes(&self) -> f64 {
+        self.position_minutes(self.first_minute_ms)
+            .min(MAX_START_MINUTES)
     }
 
     /// Where the vertical axis ends, kB a second.
-    fn top(&self) -> f64 {
+    fn top_kb(&self) -> f64 {
         let rates = self
             .rate_lines
             .values()
             .flat_map(|line| line.values().copied());
         let budgets = self.budget_lines.iter().map(|line| line.rate_kb);
-        rates.chain(budgets).fold(MIN_TOP_KB, f64::max) * TOP_MARGIN
+        rates.chain(budgets).fold(MIN_TOP_KB, f64::max) * TOP_FACTOR
     }
 }
 
@@ -132,7 +134,7 @@
         .caption(CAPTION, CAPTION_FONT)
         .x_label_area_size(X_LABELS_HEIGHT)
         .y_label_area_size(Y_LABELS_WIDTH)
-        .build_cartesian_2d(data.start()..0.0, 0.0..data.top())?;
+        .build_cartesian_2d(data.start_minutes()..0.0, 0.0..data.top_kb())?;
     chart.configure_mesh().x_desc("minutes ago").draw()?;
     draw_rates(&mut chart, data)?;
     draw_budgets(&mut chart, data)?;
@@ -148,9 +150,9 @@
 fn draw_rates(chart: &mut Chart<'_, '_>, data: &PlotData) -> Result<(), PlotError> {
     for (index, (label, line)) in data.rate_lines.iter().enumerate() {
         let colour: RGBAColor = Palette99::pick(index).to_rgba();
-        let points = data.minutes.iter().map(|at_ms| {
+        let points = data.minutes_ms.iter().map(|at_ms| {
             let rate_kb = line.get(at_ms).copied().unwrap_or(0.0);
-            (data.position(*at_ms), rate_kb)
+            (data.position_minutes(*at_ms), rate_kb)
         });
         let style = colour.stroke_width(LINE_WIDTH);
         draw_line(chart, points, label, style)?;
@@ -160,7 +162,7 @@
 
 fn draw_budgets(chart: &mut Chart<'_, '_>, data: &PlotData) -> Result<(), PlotError> {
     for line in &data.budget_lines {
-        let points = [(data.start(), line.rate_kb), (0.0, line.rate_kb)];
+        let points = [(data.start_minutes(), line.rate_kb), (0.0, line.rate_kb)];
         let style = BLACK.mix(BUDGET_OPACITY).into();
         draw_line(chart, points.into_iter(), &line.label, style)?;
     }
--- a/crates/traffic-report/src/text.rs
+++ b/crates/traffic-report/src/text.rs
@@ -7,7 +7,7 @@
 /// The least rate that usage is divided by, kB a second; a budget may be 0.
 const MIN_BUDGET_RATE_KB: f64 = 1e-9;
 
-// The columns and words that are printed are those of the users' documentation and stay as they are.
+// The printed columns and words are those of the users' documentation and stay as they are.
 const FLOW_COLUMNS: [&str; 9] = [
     "FROM",
     "TO",
@@ -52,8 +52,8 @@
     }
 }
 
-/// Lines of cells under a header, each column as wide as its widest cell.
-fn columns(header: &[&str], rows: &[Vec<String>]) -> String {
+/// Rows under a header, each column as wide as its widest cell.
+fn aligned_columns(header: &[&str], rows: &[Vec<String>]) -> String {
     let header: Vec<String> = header.iter().map(|cell| (*cell).to_owned()).collect();
     let widths = column_widths(&header, rows);
     let mut lines = vec![padded_line(&header, &widths)];
@@ -88,11 +88,11 @@
 #[must_use]
 pub fn table(report: &TrafficReport) -> String {
     let flow_rows: Vec<_> = report.flows.iter().map(flow_row).collect();
-    let mut text = columns(&FLOW_COLUMNS, &flow_rows);
+    let mut text = aligned_columns(&FLOW_COLUMNS, &flow_rows);
     if !report.budgets.is_empty() {
         let budget_rows: Vec<_> = report.budgets.iter().map(budget_row).collect();
         text.push_str("\n\n");
-        text.push_str(&columns(&BUDGET_COLUMNS, &budget_rows));
+        text.push_str(&aligned_columns(&BUDGET_COLUMNS, &budget_rows));
     }
     text.push_str(&format!(
         "\n\n{} sessions not settled yet, {} counts too late",
