--- a/crates/cross-zone-traffic/tests/usage_accounting.rs
+++ b/crates/cross-zone-traffic/tests/usage_accounting.rs
@@ -36,7 +36,7 @@
     account.rate_changed(1, 300.0, at(1010));
     account.session_ended(1, at(1015));
     for n in 0..4000u64 {
-        while !account.settle(at(1000) + Duration::from_millis(10 * n), 1) {}
+        while !account.settle(at(1000) + Duration::from_secs(n) / 100, 1) {}
     }
     assert!(
         near(
