--- a/crates/benchmark/src/account.rs
+++ b/crates/benchmark/src/account.rs
@@ -4,15 +4,16 @@
 use crankpaddle_cross_zone_traffic::budget::{FrontPosition, SharedBudget};
 use crankpaddle_cross_zone_traffic::cross_zone_admission::CrossZoneLimit;
 use crankpaddle_cross_zone_traffic::traffic_controller::{
-    AttemptUsage, TrafficClass, TrafficConfig, TrafficController,
+    AttemptEnd, AttemptUsage, TrafficClass, TrafficConfig, TrafficController,
 };
+use crankpaddle_time::Time;
 use std::collections::BTreeMap;
 use std::hint::black_box;
 use std::io;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-const SECOND: u64 = 1_000_000_000;
-const START: u64 = 1_000_000 * SECOND;
+const SECOND: Duration = Duration::from_secs(1);
+const START: Time = Time(1_000_000 * 1_000_000_000);
 const SERVERS: u32 = 100;
 /// Sessions settled in one step: as many as a front settles.
 const STEP: usize = 512;
@@ -35,10 +36,10 @@
 fn controller() -> TrafficController {
     let shared = SharedBudget {
         rate_kb: 1e9,
-        burst: 1e12,
-        volume: f64::INFINITY,
-        period: 0,
-        repay: 60 * SECOND,
+        burst_bytes: 1e12,
+        volume_bytes: f64::INFINITY,
+        period: None,
+        max_repayment_time: 60 * SECOND,
     };
     let mut controller = TrafficController::new(TrafficConfig {
         position: FrontPosition {
@@ -48,11 +49,11 @@
         zone: 0,
         classes: vec![
             TrafficClass {
-                paid: true,
+                is_paid: true,
                 rung_rates_kb: vec![300.0],
             },
             TrafficClass {
-                paid: false,
+                is_paid: false,
                 rung_rates_kb: vec![200.0],
             },
         ],
@@ -123,7 +124,7 @@
         let pid = std::process::id();
         let before = cpu_seconds(pid)?;
         for second in 1..=self.plan.seconds {
-            let now = START + second * SECOND;
+            let now = START + Duration::from_secs(second);
             self.send(now);
             self.replace_oldest(now);
             self.settle(now);
@@ -134,7 +135,7 @@
     }
 
     /// Adds the bytes of a second to each session.
-    fn send(&mut self, now: u64) {
+    fn send(&mut self, now: Time) {
         for (id, bytes) in &mut self.sent {
             *bytes += BYTES_PER_SECOND;
             if let Some(controller) = self.controller.as_deref_mut() {
@@ -144,7 +145,7 @@
     }
 
     /// Ends the oldest sessions and begins as many.
-    fn replace_oldest(&mut self, now: u64) {
+    fn replace_oldest(&mut self, now: Time) {
         let count = (self.plan.sessions / MEAN_SESSION_SECONDS) as usize;
         let oldest: Vec<u64> = self.sent.keys().take(count).copied().collect();
         for id in oldest {
@@ -152,7 +153,7 @@
             let next = id + self.plan.sessions;
             self.sent.insert(next, 0);
             if let Some(controller) = self.controller.as_deref_mut() {
-                controller.attempt_ended(id, false, now);
+                controller.attempt_ended(id, AttemptEnd::Completed, now);
                 controller.final_bytes_counted(id, bytes, now);
                 controller.attempt_started(attempt(next));
                 controller.session_established(next, now);
@@ -161,7 +162,7 @@
     }
 
     /// The work of each second: budgets, then settling in steps.
-    fn settle(&mut self, now: u64) {
+    fn settle(&mut self, now: Time) {
         let Some(controller) = self.controller.as_deref_mut() else {
             return;
         };
--- a/crates/cross-zone-traffic/src/cross_zone_admission/policies.rs
+++ b/crates/cross-zone-traffic/src/cross_zone_admission/policies.rs
@@ -1,6 +1,7 @@
-//! How classes may be served from other zones, and where that changed.
+//! How classes may be served from other zones, and changes of that.
 use super::types::PolicyChange;
 use super::{CrossZoneAdmission, CrossZonePolicy};
+use crankpaddle_time::Time;
 
 /// Classes are numbered in a byte.
 const MAX_CLASSES: usize = 256;
@@ -14,7 +15,7 @@
 
 impl CrossZoneAdmission {
     /// How a class may be served from a zone now.
-    pub fn policy(&mut self, now: u64, zone: u8, class: u8) -> CrossZonePolicy {
+    pub fn policy(&mut self, now: Time, zone: u8, class: u8) -> CrossZonePolicy {
         let key = self.budget_key(zone, class);
         let Some(pool) = key.and_then(|key| self.pools.get_mut(&key)) else {
             return CrossZonePolicy::Allowed;
@@ -30,7 +31,7 @@
     }
 
     /// The policies that changed since the previous call. Call it before requests are placed.
-    pub fn policy_changes(&mut self, now: u64) -> Vec<PolicyChange> {
+    pub fn policy_changes(&mut self, now: Time) -> Vec<PolicyChange> {
         let mut changes = Vec::new();
         for key in self.policies_to_check() {
             let ZoneClass { zone, class } = key;
@@ -47,7 +48,7 @@
         changes
     }
 
-    /// Each class of each zone that has a budget, then what was notified of zones that have none any more.
+    /// Each class of each zone that has a budget, then the notified classes of zones that have none any more.
     fn policies_to_check(&self) -> Vec<ZoneClass> {
         let zones = self.budgeted_zones();
         let class_count = self.paid_classes.len().min(MAX_CLASSES) as u16;
--- a/crates/cross-zone-traffic/src/cross_zone_admission/status.rs
+++ b/crates/cross-zone-traffic/src/cross_zone_admission/status.rs
@@ -2,17 +2,18 @@
 use super::budget_pool::BudgetKey;
 use super::types::{BudgetStatus, CrossZoneLimit};
 use super::CrossZoneAdmission;
+use crankpaddle_time::Time;
 
 impl CrossZoneAdmission {
     /// The state of each budget.
-    pub fn budget_statuses(&mut self, now: u64) -> Vec<BudgetStatus> {
+    pub fn budget_statuses(&mut self, now: Time) -> Vec<BudgetStatus> {
         self.budget_keys()
             .into_iter()
             .filter_map(|key| self.budget_status(now, key))
             .collect()
     }
 
-    fn budget_status(&mut self, now: u64, key: BudgetKey) -> Option<BudgetStatus> {
+    fn budget_status(&mut self, now: Time, key: BudgetKey) -> Option<BudgetStatus> {
         let level = self.budget_level(now, key);
         let pool = self.pools.get(&key)?;
         Some(BudgetStatus {
@@ -25,8 +26,8 @@
             level,
             paid_kb: self.crossing_rate_kb(key, true),
             other_kb: self.crossing_rate_kb(key, false),
-            overdrafts: pool.overdrafts.clone(),
-            written_off: pool.budget.written_off(),
+            overdraft_bytes: pool.overdraft_bytes.clone(),
+            written_off_bytes: pool.budget.written_off_bytes(),
             capped_sessions: self
                 .sessions_of(key)
                 .filter(|(_, session)| session.is_capped)
--- a/crates/cross-zone-traffic/src/traffic_controller/attempts.rs
+++ b/crates/cross-zone-traffic/src/traffic_controller/attempts.rs
@@ -1,10 +1,11 @@
-//! Attempts to set sessions up, as far as traffic is concerned: in progress, established, or failed and not counted yet.
+//! The traffic of attempts to set sessions up: in progress, established, or failed and not counted yet.
 use crate::usage_accounting::{Flow, Purpose};
-use crate::SECOND;
+use crankpaddle_time::Time;
 use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
-/// The final count of a failed attempt is waited for so long, nanoseconds.
-const FINAL_COUNT_TIMEOUT: u64 = 30 * SECOND;
+/// How long the final count of a failed attempt is waited for.
+const FINAL_COUNT_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// An attempt to set a session up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,6 +26,15 @@
     pub rung: u8,
 }
 
+/// How an attempt or session ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// Its server is expected to send a final count.
+    Completed,
+    /// Its server is lost and sends no final count; a session counts as active until the server was last received from.
+    ServerLost,
+}
+
 /// An attempt that has not ended.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ActiveAttempt {
@@ -37,9 +47,10 @@
 #[derive(Clone, Copy, Debug)]
 struct FailedAttempt {
     flow: Flow,
-    ended_at: u64,
+    ended_at: Time,
 }
 
+/// The attempts of a front whose traffic is not fully counted.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Attempts {
     active: HashMap<u64, ActiveAttempt>,
@@ -77,7 +88,7 @@
     }
 
     /// Awaits the final count of an attempt that failed.
-    pub(super) fn await_final_count(&mut self, id: u64, flow: Flow, now: u64) {
+    pub(super) fn await_final_count(&mut self, id: u64, flow: Flow, now: Time) {
         let flow = Flow {
             purpose: Purpose::FailedAttempt,
             ..flow
@@ -92,8 +103,8 @@
     }
 
     /// Removes the failed attempts whose final count is no longer awaited.
-    pub(super) fn remove_expired(&mut self, now: u64) {
+    pub(super) fn remove_expired(&mut self, now: Time) {
         self.failed
-            .retain(|_, attempt| now.saturating_sub(attempt.ended_at) < FINAL_COUNT_TIMEOUT);
+            .retain(|_, attempt| now.duration_since(attempt.ended_at) < FINAL_COUNT_TIMEOUT);
     }
 }
--- a/crates/cross-zone-traffic/src/traffic_controller/mod.rs
+++ b/crates/cross-zone-traffic/src/traffic_controller/mod.rs
@@ -1,33 +1,34 @@
-//! A front's traffic controller: the usage account and the budgets, and how events of sessions drive both.
+//! A front's traffic controller: its usage account and budgets, updated by the events of sessions and servers.
 //!
-//! Events in, changes out; the caller supplies the time. Before a request is placed, the placement module is notified of
-//! the [`TrafficController::policy_changes`] and of the rate caps that [`TrafficController::tick`] returns.
+//! The caller supplies the time. Before a request is placed, it notifies the placement module of the
+//! [`TrafficController::policy_changes`] and of the rate caps that [`TrafficController::tick`] returned.
 mod attempts;
 mod config;
 mod server_zones;
 
-pub use attempts::AttemptUsage;
+pub use attempts::{AttemptEnd, AttemptUsage};
 pub use config::{TrafficClass, TrafficConfig};
 
 use crate::cross_zone_admission::{
-    BudgetStatus, CapReason, CrossZoneAdmission, PolicyChange, RateCapChanges, SessionStart,
+    BudgetStatus, CrossZoneAdmission, OverdraftCause, PolicyChange, RateCapChanges, SessionStart,
 };
 use crate::usage_accounting::{Flow, Purpose, SavedFlow, UsageAccount, UsageConfig};
-use crate::SECOND;
 use attempts::{ActiveAttempt, Attempts};
+use crankpaddle_time::Time;
 use server_zones::ServerZones;
 use std::collections::{BTreeMap, BTreeSet};
-
-/// A count or report is waited for so many times its usual delay ...
-const SETTLE_DELAY_FACTOR: u64 = 3;
-/// ... and this much longer, nanoseconds.
-const SETTLE_DELAY_MARGIN: u64 = 2 * SECOND;
-/// Delivery reports arrive once a second, nanoseconds; a missing one is bridged.
-const DELIVERY_REPORT_TTL: u64 = 2 * SECOND + SECOND / 2;
+use std::time::Duration;
+
+/// A count or report is waited for this many times its usual delay ...
+const SETTLE_DELAY_FACTOR: u32 = 3;
+/// ... and this much longer.
+const SETTLE_DELAY_MARGIN: Duration = Duration::from_secs(2);
+/// Delivery reports arrive once a second; a missing one is bridged.
+const DELIVERY_REPORT_TTL: Duration = Duration::from_millis(2500);
 /// Flows with totals of their own at most.
 const MAX_FLOWS: usize = 1024;
 /// The mean session length that is assumed at first, seconds.
-const INITIAL_SESSION_LENGTH: f64 = 30.0;
+const INITIAL_SESSION_SECONDS: f64 = 30.0;
 /// The lowest rung.
 const LOWEST_RUNG: u8 = 0;
 
@@ -50,14 +51,14 @@
             delivery_report_ttl: DELIVERY_REPORT_TTL,
             max_flows: MAX_FLOWS,
         };
-        let paid_classes = config.classes.iter().map(|class| class.paid).collect();
+        let paid_classes = config.classes.iter().map(|class| class.is_paid).collect();
         TrafficController {
             account: UsageAccount::new(usage_config),
             admission: CrossZoneAdmission::new(
                 paid_classes,
                 &config.limits,
                 config.position,
-                INITIAL_SESSION_LENGTH,
+                INITIAL_SESSION_SECONDS,
             ),
             servers: ServerZones::default(),
             attempts: Attempts::default(),
@@ -65,30 +66,30 @@
         }
     }
 
-    /// Changes the configuration; what was counted, flows and is owed stays. Classes keep their numbers.
+    /// Changes the configuration; counted bytes, sessions and debt stay. Classes keep their numbers.
     pub fn reconfigure(&mut self, config: TrafficConfig) {
         self.admission.reconfigure(&config.limits, config.position);
         self.config = config;
     }
 
-    /// The time that a report received now describes, nanoseconds.
-    fn described_time(&self, now: u64) -> u64 {
-        now.saturating_sub(self.config.report_delay)
+    /// The time that a report received now describes.
+    fn described_time(&self, now: Time) -> Time {
+        now - self.config.report_delay
     }
 }
 
 /// Events of servers.
 impl TrafficController {
-    /// A server is listed in a zone; `up`: whether it accepts or finishes work there.
-    pub fn endpoint_listed(&mut self, server: u32, zone: u8, up: bool) {
+    /// A server is listed in a zone; `is_up`: whether it accepts or finishes work there.
+    pub fn endpoint_listed(&mut self, server: u32, zone: u8, is_up: bool) {
         if let Some(previous) = self.servers.assign(server, zone) {
             self.servers.set_up(server, previous, false);
             self.update_admission_servers(previous);
         }
-        if self.servers.set_up(server, zone, up) {
+        if self.servers.set_up(server, zone, is_up) {
             self.update_admission_servers(zone);
         }
-        if !up {
+        if !is_up {
             self.admission.server_lost(zone, server);
         }
     }
@@ -113,13 +114,13 @@
         self.servers.zone(server)
     }
 
-    /// A server was alive until now, whether or not it still is.
-    pub fn server_alive(&mut self, server: u32, now: u64) {
+    /// A server was alive until now, although it may have been lost since.
+    pub fn server_alive(&mut self, server: u32, now: Time) {
         self.servers.record_received(server, now);
     }
 
     /// A message of a server was received, so it is up.
-    pub fn server_connected(&mut self, server: u32, now: u64) {
+    pub fn server_connected(&mut self, server: u32, now: Time) {
         self.server_alive(server, now);
         let Some(zone) = self.servers.zone(server) else {
             return;
@@ -129,7 +130,7 @@
         }
     }
 
-    /// A server can't be reached: until something is received from it again nothing crosses from it.
+    /// A server can't be reached: it sends nothing until a message of it is received again.
     pub fn server_lost(&mut self, server: u32) {
         if let Some(zone) = self.servers.zone(server) {
             self.servers.set_up(server, zone, false);
@@ -137,8 +138,8 @@
         }
     }
 
-    /// A server reports what crosses from it to this front's zone, kB a second by class, all fronts together.
-    pub fn usage_reported(&mut self, server: u32, rate_kb_by_class: BTreeMap<u8, f64>, now: u64) {
+    /// A server reports what it sends to this front's zone for all fronts, kB a second by class.
+    pub fn usage_reported(&mut self, server: u32, rate_kb_by_class: BTreeMap<u8, f64>, now: Time) {
         self.server_connected(server, now);
         if let Some(zone) = self.servers.zone(server) {
             let at = self.described_time(now);
@@ -147,8 +148,8 @@
         }
     }
 
-    /// A server reports what share of all rates it delivers; the report describes the time before its delay.
-    pub fn delivery_reported(&mut self, server: u32, share: f64, now: u64) {
+    /// A server reports which share of all rates it delivers; the report describes the time before its delay.
+    pub fn delivery_reported(&mut self, server: u32, share: f64, now: Time) {
         self.server_connected(server, now);
         let at = self.described_time(now);
         self.account.delivery_reported(server, share, at);
@@ -158,7 +159,7 @@
 /// Events of sessions.
 impl TrafficController {
     /// A request of a class arrived.
-    pub fn session_requested(&mut self, class: u8, now: u64) {
+    pub fn session_requested(&mut self, class: u8, now: Time) {
         self.admission.session_requested(now, class);
     }
 
@@ -181,7 +182,7 @@
     }
 
     /// An attempt became a session.
-    pub fn session_established(&mut self, id: u64, now: u64) {
+    pub fn session_established(&mut self, id: u64, now: Time) {
         let Some(ActiveAttempt { usage, flow, .. }) = self.attempts.establish(id) else {
             return;
         };
@@ -195,23 +196,23 @@
                 class: flow.class,
                 rate_kb,
                 lowest_rate_kb: self.config.rate_kb(usage.class, LOWEST_RUNG),
-                cause: self.crossing_cause(),
+                overdraft_cause: self.overdraft_cause(),
             };
             self.admission.session_started(now, start);
         }
     }
 
     /// Why a paid session would cross beyond its budget now.
-    fn crossing_cause(&self) -> CapReason {
+    fn overdraft_cause(&self) -> OverdraftCause {
         if self.servers.has_server_up(self.config.zone) {
-            CapReason::LocalZoneFull
+            OverdraftCause::LocalZoneFull
         } else {
-            CapReason::LocalZoneDown
+            OverdraftCause::LocalZoneDown
         }
     }
 
     /// The rung of a session changed.
-    pub fn rung_changed(&mut self, id: u64, rung: u8, now: u64) {
+    pub fn rung_changed(&mut self, id: u64, rung: u8, now: Time) {
         let Some(attempt) = self.attempts.get(id) else {
             return;
         };
@@ -220,9 +221,8 @@
         self.admission.rate_changed(now, id, rate_kb);
     }
 
-    /// An attempt or session ended. `server_lost`: its server is lost and will send no final count; then the session flowed
-    /// until the server was last received from.
-    pub fn attempt_ended(&mut self, id: u64, server_lost: bool, now: u64) {
+    /// An attempt or session ended.
+    pub fn attempt_ended(&mut self, id: u64, end: AttemptEnd, now: Time) {
         let Some(attempt) = self.attempts.remove(id) else {
             return;
         };
@@ -231,16 +231,16 @@
             return;
         }
         let last_received = self.servers.last_received(attempt.usage.server);
-        let flowed_until = match last_received {
-            Some(received_at) if server_lost => received_at.min(now),
+        let ended_at = match (end, last_received) {
+            (AttemptEnd::ServerLost, Some(received_at)) => received_at.min(now),
             _ => now,
         };
-        self.account.session_ended(id, flowed_until);
+        self.account.session_ended(id, ended_at);
         self.admission.session_ended(now, id);
     }
 
-    /// A server counted so many bytes for a session; the count describes the time before its delay.
-    pub fn bytes_counted(&mut self, id: u64, bytes: u64, now: u64) {
+    /// A server has counted `bytes` for a session since its start; the count describes the time before its delay.
+    pub fn bytes_counted(&mut self, id: u64, bytes: u64, now: Time) {
         if self.attempts.is_established(id) {
             let at = self.described_time(now);
             self.account.bytes_counted(id, bytes, at);
@@ -248,7 +248,7 @@
     }
 
     /// A server's final count of an attempt or session: all bytes that it sent.
-    pub fn final_bytes_counted(&mut self, id: u64, bytes: u64, now: u64) {
+    pub fn final_bytes_counted(&mut self, id: u64, bytes: u64, now: Time) {
         match self.attempts.take_failed(id) {
             Some(flow) => self.account.add_measured(flow, bytes, now),
             None => self.account.final_bytes_counted(id, bytes),
@@ -258,15 +258,15 @@
 
 /// Decisions and periodic work.
 impl TrafficController {
-    /// How classes may be served from zones, where that changed since the previous call. Notify the placement module of it
-    /// before a request is placed.
-    pub fn policy_changes(&mut self, now: u64) -> Vec<PolicyChange> {
+    /// How classes may be served from zones, where that changed since the previous call. Notify the placement module of the
+    /// changes before a request is placed.
+    pub fn policy_changes(&mut self, now: Time) -> Vec<PolicyChange> {
         self.admission.policy_changes(now)
     }
 
     /// Zones all of whose servers' reports this front needs now.
     #[must_use]
-    pub fn zones_observed(&self, now: u64) -> BTreeSet<u8> {
+    pub fn zones_observed(&self, now: Time) -> BTreeSet<u8> {
         self.admission.zones_observed(now)
     }
 
@@ -277,17 +277,17 @@
     }
 
     /// Updates quotas and returns which sessions are to be capped or uncapped; call it about once a second.
-    pub fn tick(&mut self, now: u64) -> RateCapChanges {
+    pub fn tick(&mut self, now: Time) -> RateCapChanges {
         self.attempts.remove_expired(now);
         self.admission.tick(now)
     }
 
-    /// Settles up to `max_sessions` sessions; true when that completed a round.
-    pub fn settle_usage(&mut self, now: u64, max_sessions: usize) -> bool {
+    /// Settles up to `max_sessions` sessions; returns whether that completed a round over all of them.
+    pub fn settle_usage(&mut self, now: Time, max_sessions: usize) -> bool {
         self.account.settle(now, max_sessions)
     }
 
-    /// Restores what a previous incarnation saved; false where something was counted already.
+    /// Restores the totals that a previous incarnation saved; false where something was counted already.
     pub fn restore(&mut self, saved_flows: &[SavedFlow]) -> bool {
         self.account.restore(saved_flows)
     }
@@ -302,7 +302,7 @@
     }
 
     /// The state of each budget.
-    pub fn budget_statuses(&mut self, now: u64) -> Vec<BudgetStatus> {
+    pub fn budget_statuses(&mut self, now: Time) -> Vec<BudgetStatus> {
         self.admission.budget_statuses(now)
     }
 }
--- a/crates/cross-zone-traffic/src/traffic_controller/server_zones.rs
+++ b/crates/cross-zone-traffic/src/traffic_controller/server_zones.rs
@@ -1,11 +1,13 @@
 //! The servers that a front knows: their zones, which of them are up, and when each was last received from.
+use crankpaddle_time::Time;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+/// The servers that a front knows.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ServerZones {
     zone_by_server: HashMap<u32, u8>,
     up_by_zone: BTreeMap<u8, BTreeSet<u32>>,
-    last_received: HashMap<u32, u64>,
+    last_received: HashMap<u32, Time>,
 }
 
 impl ServerZones {
@@ -20,10 +22,10 @@
         (previous != zone).then_some(previous)
     }
 
-    /// Marks a server of a zone as up or not; whether that is a change.
-    pub(super) fn set_up(&mut self, server: u32, zone: u8, up: bool) -> bool {
+    /// Marks a server of a zone as up or not; returns whether that is a change.
+    pub(super) fn set_up(&mut self, server: u32, zone: u8, is_up: bool) -> bool {
         let servers = self.up_by_zone.entry(zone).or_default();
-        if up {
+        if is_up {
             servers.insert(server)
         } else {
             servers.remove(&server)
@@ -59,12 +61,12 @@
             .collect()
     }
 
-    pub(super) fn record_received(&mut self, server: u32, now: u64) {
+    pub(super) fn record_received(&mut self, server: u32, now: Time) {
         self.last_received.insert(server, now);
     }
 
-    /// When a server was last received from, nanoseconds.
-    pub(super) fn last_received(&self, server: u32) -> Option<u64> {
+    /// When a server was last received from.
+    pub(super) fn last_received(&self, server: u32) -> Option<Time> {
         self.last_received.get(&server).copied()
     }
 }
--- a/crates/cross-zone-traffic/src/usage_accounting/flow.rs
+++ b/crates/cross-zone-traffic/src/usage_accounting/flow.rs
@@ -1,5 +1,6 @@
-//! Flows: where bytes went and for whom, and their totals by how the bytes are known.
-use crate::windows::{Span, Windows};
+//! Flows (zones, class, tenant and title group of bytes), and their totals by how the bytes are known.
+use crate::windows::{Span, SpanTotal, Windows};
+use crankpaddle_time::Time;
 use std::collections::BTreeMap;
 
 /// What the bytes of an attempt were used for.
@@ -14,7 +15,7 @@
     FailedAttempt,
 }
 
-/// Which way bytes went, and for whom.
+/// The zones, class, tenant, title group and purpose of bytes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Flow {
     /// Zone of the server.
@@ -69,8 +70,8 @@
     pub corrected: Windows,
     /// Estimated from rung and time alone.
     pub estimated: Windows,
-    /// Bytes that were settled and that a later count showed were never sent.
-    pub overstated: u64,
+    /// Bytes that were settled, but never sent according to a later count.
+    pub overstated_bytes: u64,
 }
 
 impl FlowTotals {
@@ -92,17 +93,17 @@
         self.sources()
             .iter()
             .fold(0u64, |sum, windows| sum.saturating_add(windows.total()))
-            .saturating_sub(self.overstated)
+            .saturating_sub(self.overstated_bytes)
     }
 
     /// Bytes of the recent spans in which there were any, by the start of the span.
     #[must_use]
-    pub fn recent(&self, span: Span) -> BTreeMap<u64, u64> {
+    pub fn recent(&self, span: Span) -> BTreeMap<Time, u64> {
         let mut bytes_by_start = BTreeMap::new();
         for windows in self.sources() {
-            for (start, bytes) in windows.recent(span) {
-                if bytes > 0 {
-                    add_saturating(&mut bytes_by_start, start, bytes);
+            for total in windows.recent(span) {
+                if total.bytes > 0 {
+                    add_saturating(&mut bytes_by_start, total.start, total.bytes);
                 }
             }
         }
@@ -112,18 +113,18 @@
     /// Replaces the totals by saved ones. The saved hours of all sources are added to the windows of measured bytes:
     /// hours are only reported as sums over all sources, while the totals of the sources are separate.
     pub(super) fn restore(&mut self, saved: &SavedFlow) {
-        for (start, bytes) in &saved.hours {
-            self.measured.add(*start, *bytes);
+        for hour in &saved.hours {
+            self.measured.add(hour.start, hour.bytes);
         }
-        self.measured.set_total(saved.measured);
-        self.corrected.set_total(saved.corrected);
-        self.estimated.set_total(saved.estimated);
-        self.overstated = saved.overstated;
+        self.measured.set_total(saved.measured_bytes);
+        self.corrected.set_total(saved.corrected_bytes);
+        self.estimated.set_total(saved.estimated_bytes);
+        self.overstated_bytes = saved.overstated_bytes;
     }
 }
 
 /// Adds to the total of a span, which stays at the maximum rather than overflow.
-pub(super) fn add_saturating(bytes_by_start: &mut BTreeMap<u64, u64>, start: u64, bytes: u64) {
+pub(super) fn add_saturating(bytes_by_start: &mut BTreeMap<Time, u64>, start: Time, bytes: u64) {
     let total = bytes_by_start.entry(start).or_default();
     *total = total.saturating_add(bytes);
 }
@@ -134,26 +135,30 @@
     /// The flow.
     pub flow: Flow,
     /// Bytes counted by servers.
-    pub measured: u64,
+    pub measured_bytes: u64,
     /// Estimated bytes, corrected by delivery reports.
-    pub corrected: u64,
+    pub corrected_bytes: u64,
     /// Bytes estimated from rung and time alone.
-    pub estimated: u64,
+    pub estimated_bytes: u64,
     /// Bytes that were settled and never sent.
-    pub overstated: u64,
-    /// Start of each recent hour, nanoseconds, and its bytes of all three sources.
-    pub hours: Vec<(u64, u64)>,
+    pub overstated_bytes: u64,
+    /// Recent hours, with the bytes of all three sources.
+    pub hours: Vec<SpanTotal>,
 }
 
 impl SavedFlow {
     pub(super) fn new(flow: Flow, totals: &FlowTotals) -> SavedFlow {
         SavedFlow {
             flow,
-            measured: totals.measured.total(),
-            corrected: totals.corrected.total(),
-            estimated: totals.estimated.total(),
-            overstated: totals.overstated,
-            hours: totals.recent(Span::Hour).into_iter().collect(),
+            measured_bytes: totals.measured.total(),
+            corrected_bytes: totals.corrected.total(),
+            estimated_bytes: totals.estimated.total(),
+            overstated_bytes: totals.overstated_bytes,
+            hours: totals
+                .recent(Span::Hour)
+                .into_iter()
+                .map(|(start, bytes)| SpanTotal { start, bytes })
+                .collect(),
         }
     }
 }
--- a/crates/cross-zone-traffic/tests/traffic_controller.rs
+++ b/crates/cross-zone-traffic/tests/traffic_controller.rs
@@ -5,13 +5,15 @@
 };
 use crankpaddle_cross_zone_traffic::report::{merge, TrafficNames, TrafficReport};
 use crankpaddle_cross_zone_traffic::traffic_controller::{
-    AttemptUsage, TrafficClass, TrafficConfig, TrafficController,
+    AttemptEnd, AttemptUsage, TrafficClass, TrafficConfig, TrafficController,
 };
 use crankpaddle_cross_zone_traffic::usage_accounting::Purpose;
+use crankpaddle_time::Time;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
-const SECOND: u64 = 1_000_000_000;
-const START: u64 = 1_000_000 * SECOND;
+const SECOND: Duration = Duration::from_secs(1);
+const START: Time = Time(1_000_000 * 1_000_000_000);
 const PAID: u8 = 0;
 const PREVIEW: u8 = 1;
 
@@ -28,10 +30,10 @@
 fn config(rate_kb: f64) -> TrafficConfig {
     let shared = SharedBudget {
         rate_kb,
-        burst: 2e6,
-        volume: f64::INFINITY,
-        period: 0,
-        repay: 20 * SECOND,
+        burst_bytes: 2e6,
+        volume_bytes: f64::INFINITY,
+        period: None,
+        max_repayment_time: 20 * SECOND,
     };
     TrafficConfig {
         position: FrontPosition {
@@ -41,11 +43,11 @@
         zone: 0,
         classes: vec![
             TrafficClass {
-                paid: true,
+                is_paid: true,
                 rung_rates_kb: vec![50.0, 100.0],
             },
             TrafficClass {
-                paid: false,
+                is_paid: false,
                 rung_rates_kb: vec![40.0, 80.0],
             },
         ],
@@ -87,16 +89,16 @@
     }
 }
 
-fn play(controller: &mut TrafficController, id: u64, server: u32, class: u8, now: u64) {
+fn play(controller: &mut TrafficController, id: u64, server: u32, class: u8, now: Time) {
     controller.attempt_started(attempt(id, server, class));
     controller.session_established(id, now);
 }
 
-fn settle(controller: &mut TrafficController, now: u64) {
+fn settle(controller: &mut TrafficController, now: Time) {
     while !controller.settle_usage(now, 3) {}
 }
 
-fn report(controller: &mut TrafficController, now: u64) -> TrafficReport {
+fn report(controller: &mut TrafficController, now: Time) -> TrafficReport {
     TrafficReport::of(controller, 7, 0, &names(), now)
 }
 
@@ -118,7 +120,7 @@
         (reported.paid_kb, reported.other_kb, reported.from.as_str()),
         (0.0, 800.0, "south")
     );
-    (100..110).for_each(|n| controller.attempt_ended(n, false, START + SECOND));
+    (100..110).for_each(|n| controller.attempt_ended(n, AttemptEnd::Completed, START + SECOND));
     (2..200).for_each(|s| drop(controller.tick(START + s * SECOND)));
     assert_eq!(
         controller.policy_changes(START + 200 * SECOND).len(),
@@ -166,11 +168,11 @@
     });
     controller.session_established(2, START);
     controller.attempt_started(attempt(3, 12, PREVIEW)); // Fails, but its server had started to send.
-    controller.attempt_ended(3, false, START + SECOND);
+    controller.attempt_ended(3, AttemptEnd::Completed, START + SECOND);
     controller.final_bytes_counted(3, 555, START + SECOND);
     controller.final_bytes_counted(3, 555, START + SECOND); // A duplicate.
     for id in [1, 2] {
-        controller.attempt_ended(id, false, START + 10 * SECOND);
+        controller.attempt_ended(id, AttemptEnd::Completed, START + 10 * SECOND);
         controller.final_bytes_counted(id, 1000 * id, START + 10 * SECOND);
     }
     settle(&mut controller, START + 60 * SECOND);
@@ -200,12 +202,12 @@
     play(&mut controller, 1, 11, PREVIEW, START);
     play(&mut controller, 2, 12, PREVIEW, START);
     for s in 1..=5 {
-        controller.bytes_counted(1, 80_000 * s, START + s * SECOND + SECOND / 2);
+        controller.bytes_counted(1, 80_000 * u64::from(s), START + s * SECOND + SECOND / 2);
         controller.server_connected(11, START + s * SECOND + SECOND / 2);
     }
     controller.server_alive(12, START + 3 * SECOND); // Its process ended then, and its connection with it.
-    controller.attempt_ended(1, true, START + 9 * SECOND); // Silent since 5.5 s.
-    controller.attempt_ended(2, true, START + 9 * SECOND);
+    controller.attempt_ended(1, AttemptEnd::ServerLost, START + 9 * SECOND); // Silent since 5.5 s.
+    controller.attempt_ended(2, AttemptEnd::ServerLost, START + 9 * SECOND);
     settle(&mut controller, START + 60 * SECOND);
     let flow = report(&mut controller, START + 60 * SECOND).flows.remove(0);
     assert_eq!(
@@ -235,7 +237,7 @@
             && !controller.is_in_zones(1, &controller.zones_observed(START))
     );
     let mut quotas = Vec::new();
-    for s in 1..=6u64 {
+    for s in 1..=6u32 {
         let now = START + s * SECOND;
         controller.session_requested(PREVIEW, now);
         controller.usage_reported(11, BTreeMap::from([(PREVIEW, 320.0)]), now);
