Front: durations and a Retry-After that may be absent in place of bare nanoseconds

The times of CoreConfig, OpenRequest::max_wait and duration_hint, and the Retry-After of Answer::Rejected and Notification::SessionEnded were u64 nanoseconds; a Retry-After of 0 stood for none. They are Duration and Option<Duration> now, and the two variants have named fields. The policy's Action and Settings stay in nanoseconds; the core converts where it meets them. The f64 expressions of the Retry-After are unchanged.

The assertions of the existing tests keep their numbers: `> 0` became `> Some(Duration::ZERO)`, and the overload tests unwrap the Retry-After.

--- a/crates/config/src/check/limits.rs
+++ b/crates/config/src/check/limits.rs
@@ -2,6 +2,7 @@
 use super::ConfigChecker;
 use crate::{schema, Limits};
 use crankpaddle_front::CoreConfig;
+use std::time::Duration;
 
 const MAX_PENDING: u32 = 10_000_000;
 const MAX_PENDING_PER_PLAYER: u32 = 1_000_000;
@@ -9,7 +10,7 @@
 const MAX_CONNECTIONS: u32 = 10_000_000;
 
 impl ConfigChecker<'_, '_> {
-    /// The core's configuration; `max_wait` by class.
+    /// The core's configuration; `max_wait` by class, in nanoseconds.
     pub(super) fn core(
         &mut self,
         limits: &schema::Limits,
@@ -19,9 +20,9 @@
         let answer_margin = self.time("limits.answer_margin", limits.answer_margin());
         self.answer_margin_fits(answer_margin, &max_wait);
         CoreConfig {
-            max_wait,
-            answer_margin,
-            resume_window: self.time("limits.resume", limits.resume()),
+            max_wait: max_wait.into_iter().map(Duration::from_nanos).collect(),
+            answer_margin: Duration::from_nanos(answer_margin),
+            resume_window: Duration::from_nanos(self.time("limits.resume", limits.resume())),
             recovered_resume_window: self.recovered_resume_window(store),
             max_pending: self.count(
                 "limits.open_requests",
@@ -35,7 +36,7 @@
                 1,
                 MAX_PENDING_PER_PLAYER,
             ) as usize,
-            key_retention: self.time("limits.keep_keys", limits.keep_keys()),
+            key_retention: Duration::from_nanos(self.time("limits.keep_keys", limits.keep_keys())),
             max_retained_keys: self.count(
                 "limits.keys_kept",
                 limits.keys_kept(),
@@ -55,9 +56,11 @@
         }
     }
 
-    /// How long a session that a server held over a restart waits for its viewer, nanoseconds.
-    fn recovered_resume_window(&mut self, store: Option<&schema::Store>) -> u64 {
-        store.map_or(0, |store| self.time("store[0].back", store.back()))
+    /// How long a session that a server held over a restart waits for its viewer.
+    fn recovered_resume_window(&mut self, store: Option<&schema::Store>) -> Duration {
+        store.map_or(Duration::ZERO, |store| {
+            Duration::from_nanos(self.time("store[0].back", store.back()))
+        })
     }
 
     pub(super) fn limits(&mut self, limits: &schema::Limits) -> Limits {
--- a/crates/config/tests/check.rs
+++ b/crates/config/tests/check.rs
@@ -1,6 +1,7 @@
 //! Every problem in a file is reported at once, with its place and with what is allowed.
 use crankpaddle_config::{parse, Problem};
 use proptest::prelude::*;
+use std::time::Duration;
 
 /// All fields: the example in deploy, with its limits and rules stated.
 const GOOD: &str = include_str!("full.textproto");
@@ -22,7 +23,10 @@
     assert_eq!(config.settings.rung_kb, [60.0, 120.0, 200.0, 400.0]);
     assert_eq!(config.settings.classes[0].latency_objective, 800_000_000);
     assert_eq!(config.settings.classes[0].max_rung, 3);
-    assert_eq!(config.terms.max_wait, [4_000_000_000, 5_000_000_000]);
+    assert_eq!(
+        config.terms.max_wait,
+        [4_000_000_000, 5_000_000_000].map(Duration::from_nanos)
+    );
     assert_eq!(config.limits.message, 65536);
     assert_eq!(config.classes, ["paid-view", "preview"]);
     assert_eq!(config.titles["old-bridge"].first_cell, 2);
--- a/crates/daemon/src/event_loop/outputs.rs
+++ b/crates/daemon/src/event_loop/outputs.rs
@@ -96,7 +96,7 @@
         tracing::debug!(
             player_id = player.0,
             request_id = session.0,
-            ?notification,
+            notification = ?notification.log_text(),
             "player notified"
         );
         if let Some(player) = self.players.get(&player) {
@@ -234,6 +234,6 @@
             "session established"
         ),
         Answer::Closed => tracing::debug!(player_id, call_id, "session closed"),
-        other => tracing::info!(player_id, call_id, answer = ?other, "request answered"),
+        other => tracing::info!(player_id, call_id, answer = ?other.log_text(), "request answered"),
     }
 }
--- a/crates/daemon/src/event_loop/previous_incarnation.rs
+++ b/crates/daemon/src/event_loop/previous_incarnation.rs
@@ -11,6 +11,7 @@
     Intent, IntentLedger, IntentOutcome, Key, Reconciliation, RecoveredState,
 };
 use crankpaddle_store::{Store, StoreWriter};
+use crankpaddle_time::nanoseconds;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
@@ -52,7 +53,7 @@
         let intents = &recovered.intents.0;
         DurableState {
             ledger: IntentLedger::new(
-                core_config.key_retention / MILLISECOND,
+                nanoseconds(core_config.key_retention) / MILLISECOND,
                 core_config.max_retained_keys,
                 intents,
             ),
--- a/crates/daemon/src/event_loop/reconciliation.rs
+++ b/crates/daemon/src/event_loop/reconciliation.rs
@@ -11,6 +11,7 @@
 use crankpaddle_recovery::reconciliation::{ReconciliationStep, Resolution};
 use crankpaddle_recovery::{Intent, IntentOutcome, Key, Reconciliation};
 use crankpaddle_server_protocol::session_inventory::SessionInventory;
+use crankpaddle_time::nanoseconds;
 
 impl EventLoop {
     /// Defers a list while it is not known which servers are warming up; true where it does.
@@ -190,7 +191,7 @@
 
     /// A set-up ran, or may have: its key is spent. It is written even where the ledger had no entry of it.
     fn resolve_key(&mut self, key: &Key, outcome: IntentOutcome, request_outcome: RequestOutcome) {
-        let retention_ms = self.shared.config.terms.key_retention / MILLISECOND;
+        let retention_ms = nanoseconds(self.shared.config.terms.key_retention) / MILLISECOND;
         let Some(durable) = &mut self.durable else {
             return;
         };
--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/names.rs
@@ -6,8 +6,7 @@
 use crankpaddle_session_api::messages::{Named, UnknownName};
 use crankpaddle_session_api::methods;
 use std::hash::{BuildHasher, DefaultHasher, Hash, Hasher, RandomState};
-
-const MILLISECOND: u64 = 1_000_000;
+use std::time::Duration;
 
 /// Names attempts so that nobody who knows one can guess another: with a session's name its media can be
 /// fetched.
@@ -71,7 +70,6 @@
         .ok_or_else(|| unknown_name(Named::Title, &open.title))?;
     let class = config.classes.iter().position(|class| *class == open.class);
     let class = class.ok_or_else(|| unknown_name(Named::Class, &open.class))?;
-    let nanoseconds = |milliseconds: u64| milliseconds.saturating_mul(MILLISECOND);
     Ok(OpenRequest {
         tenant: tenant(config, open.tenant.as_deref())?,
         viewer: viewer_number(open.viewer.as_deref().unwrap_or(&open.key)),
@@ -80,8 +78,8 @@
         first_cell: title.first_cell,
         cell_count: title.copies,
         max_rung: open.top.unwrap_or(u8::MAX),
-        max_wait: open.give_up_ms.map_or(u64::MAX, nanoseconds),
-        duration_hint: open.hint_ms.map(nanoseconds),
+        max_wait: open.give_up_ms.map_or(Duration::MAX, Duration::from_millis),
+        duration_hint: open.hint_ms.map(Duration::from_millis),
         is_retry: open.again,
         is_migration: false, // The core knows by the key.
         // Neither the core nor a disk needs what the player alone may know.
--- a/crates/daemon/src/player_calls.rs
+++ b/crates/daemon/src/player_calls.rs
@@ -8,6 +8,7 @@
 use crankpaddle_server_protocol::sessions;
 use crankpaddle_session_api::jsonrpc::{self, Error, Id, Member};
 use crankpaddle_session_api::methods::{session_number, Method};
+use std::time::Duration;
 
 /// Reads the calls of one connection and numbers them.
 pub(crate) struct CallReader<'a> {
@@ -112,7 +113,7 @@
     /// The answers of a batch go back together, so none may wait longer than the most impatient viewer in it.
     fn limit_batch_wait(&self, inputs: &mut [Input]) {
         let waits = inputs.iter().map(|input| self.wait_limit(input));
-        let shortest = waits.min().unwrap_or(u64::MAX);
+        let shortest = waits.min().unwrap_or(Duration::MAX);
         for input in inputs {
             if let Input::Open { open, .. } = input {
                 open.max_wait = open.max_wait.min(shortest);
@@ -120,14 +121,14 @@
         }
     }
 
-    /// How long a request may wait, by its viewer and its class, nanoseconds.
-    fn wait_limit(&self, input: &Input) -> u64 {
+    /// How long a request may wait, by its viewer and its class.
+    fn wait_limit(&self, input: &Input) -> Duration {
         let Input::Open { open, .. } = input else {
-            return u64::MAX;
+            return Duration::MAX;
         };
         let class_limits = &self.shared.config.terms.max_wait;
         let class_limit = class_limits.get(usize::from(open.class)).copied();
-        open.max_wait.min(class_limit.unwrap_or(u64::MAX))
+        open.max_wait.min(class_limit.unwrap_or(Duration::MAX))
     }
 }
 
--- a/crates/front/src/core/actions.rs
+++ b/crates/front/src/core/actions.rs
@@ -2,6 +2,7 @@
 use super::Core;
 use crate::keys::RequestOutcome;
 use crate::output::{Answer, FailureReason, Notification, Output, RejectReason};
+use crate::overload::retry_after;
 use crate::timers::TimerEntry;
 use crankpaddle::{Action, AttemptOutcome, LoadReport, RequestId};
 use crankpaddle_recovery::RecoveryStage;
@@ -62,18 +63,24 @@
         }
     }
 
-    fn reject(&mut self, id: RequestId, retry_after: u64, out: &mut Vec<Output>) {
+    /// Rejects a request; `retry_after_ns` as the policy states it, in nanoseconds, 0 for none.
+    fn reject(&mut self, id: RequestId, retry_after_ns: u64, out: &mut Vec<Output>) {
         let class = self.requests.get(&id).map(|request| request.session.class);
         if self.stage() == RecoveryStage::PaidOnly && class.is_some_and(|class| self.is_paid(class))
         {
-            self.staged_recovery.paid_rejected(self.now.0, retry_after);
+            self.staged_recovery
+                .paid_rejected(self.now.0, retry_after_ns);
         }
         let reason = if class.is_some_and(|class| self.is_cross_zone_forbidden(class)) {
             RejectReason::CrossZoneForbidden
         } else {
             RejectReason::NoCapacity
         };
-        self.answer_waiting(id, Answer::Rejected(reason, retry_after), out);
+        let rejected = Answer::Rejected {
+            reason,
+            retry_after: retry_after(retry_after_ns),
+        };
+        self.answer_waiting(id, rejected, out);
     }
 
     /// Whether the class may not be served from some other zone.
--- a/crates/front/src/core/completion.rs
+++ b/crates/front/src/core/completion.rs
@@ -71,11 +71,11 @@
         let ran_once = request.may_have_run && self.is_paid(request.session.class);
         // The last check before the player: a rejection states that nothing ran.
         let answer = match answer {
-            Answer::Rejected(..) if ran_once => Answer::Failed(request.failure),
+            Answer::Rejected { .. } if ran_once => Answer::Failed(request.failure),
             other => other,
         };
         let outcome = match answer {
-            Answer::Rejected(..) => RequestOutcome::Rejected,
+            Answer::Rejected { .. } => RequestOutcome::Rejected,
             _ => RequestOutcome::Failed,
         };
         if let Some(call) = request.call {
--- a/crates/front/src/core/key_retention.rs
+++ b/crates/front/src/core/key_retention.rs
@@ -3,7 +3,7 @@
 use super::Core;
 use crate::keys::{self, ReopenDecision, RequestOutcome};
 use crate::timers::TimerEntry;
-use crankpaddle::{RequestId, Time};
+use crankpaddle::RequestId;
 
 impl Core {
     /// Retains an ended request while its key must not be set up again, in bounded memory; removes it otherwise.
@@ -19,12 +19,7 @@
         if outcome != RequestOutcome::Migrated && reopen == ReopenDecision::StartNew {
             return self.remove_ended(id);
         }
-        let retained_until = Time(
-            request
-                .viewer_deadline
-                .0
-                .saturating_add(self.config.key_retention),
-        );
+        let retained_until = request.viewer_deadline + self.config.key_retention;
         // Why: a timer set for a time long past makes the driver of the core assume a stall. A session that played for
         // longer than its key is retained would set one at its end.
         if self.config.max_retained_keys == 0 || retained_until <= self.now {
--- a/crates/front/src/core/open.rs
+++ b/crates/front/src/core/open.rs
@@ -11,6 +11,7 @@
 use crate::recovery_queue::OpenCall;
 use crate::timers::TimerEntry;
 use crankpaddle::{Event, SessionRequest, Time};
+use std::time::Duration;
 
 /// How long the answer to a request may take.
 pub(super) struct AnswerLimits {
@@ -113,7 +114,10 @@
             self.overload_reason(call, ready_at)?
         };
         let jitter = jitter(self.last_request ^ call.player.0.rotate_left(32) ^ call.number);
-        Some(Answer::Rejected(reason, self.overload.retry_after(jitter)))
+        Some(Answer::Rejected {
+            reason,
+            retry_after: self.overload.retry_after(jitter),
+        })
     }
 
     fn overload_reason(&mut self, call: Call, ready_at: Time) -> Option<RejectReason> {
@@ -164,13 +168,13 @@
             .max_wait
             .get(usize::from(open.class))
             .copied()
-            .unwrap_or(0);
+            .unwrap_or(Duration::ZERO);
         let wait = open.max_wait.min(class_max_wait);
         let margin = self.config.answer_margin.min(wait / 2);
-        let viewer_deadline = Time(received_at.0.saturating_add(wait));
+        let viewer_deadline = received_at + wait;
         AnswerLimits {
             viewer_deadline,
-            deadline: Time(viewer_deadline.0 - margin),
+            deadline: viewer_deadline - margin,
         }
     }
 }
--- a/crates/front/src/core/players.rs
+++ b/crates/front/src/core/players.rs
@@ -5,7 +5,7 @@
 use crate::keys::RequestOutcome;
 use crate::output::Output;
 use crate::timers::TimerEntry;
-use crankpaddle::{AttemptOutcome, Event, RequestId, Time};
+use crankpaddle::{AttemptOutcome, Event, RequestId};
 
 impl Core {
     /// A player withdraws its requests and ends its sessions.
@@ -25,7 +25,7 @@
         let Some(disconnected) = self.players.remove(&player) else {
             return;
         };
-        let resume_until = Time(self.now.0.saturating_add(self.config.resume_window));
+        let resume_until = self.now + self.config.resume_window;
         for id in disconnected.requests {
             let Some(request) = self.requests.get_mut(&id) else {
                 continue;
--- a/crates/front/src/core/recovered_keys.rs
+++ b/crates/front/src/core/recovered_keys.rs
@@ -5,7 +5,7 @@
 use crate::keys::RequestOutcome;
 use crate::output::Output;
 use crate::timers::TimerEntry;
-use crankpaddle::{ServerId, SessionRequest, Time};
+use crankpaddle::{ServerId, SessionRequest};
 
 impl Core {
     /// It is not known yet whether a paid set-up ran under this key.
@@ -59,13 +59,12 @@
         self.unresolved_keys.remove(&SessionKey::from(&open));
         let tracked = self.track_established(open, server);
         if let Some(session) = &tracked {
-            let resume_window = self.config.recovered_resume_window;
+            let resume_until = self.now + self.config.recovered_resume_window;
             let entry = TimerEntry::ResumeWindow {
                 request: session.request,
                 disconnects: 0,
             };
-            self.timers
-                .set(Time(self.now.0.saturating_add(resume_window)), entry);
+            self.timers.set(resume_until, entry);
         }
         out.push(Output::FoundSessionHandled {
             token,
--- a/crates/front/src/core/request.rs
+++ b/crates/front/src/core/request.rs
@@ -6,6 +6,7 @@
 use crankpaddle::{
     AttemptOutcome, LoadReport, RequestId, ServerId, SessionRequest, SessionUpdate, Time,
 };
+use crankpaddle_time::nanoseconds;
 use std::collections::BTreeSet;
 
 /// The key of a session; keys of different tenants are independent.
@@ -170,7 +171,7 @@
             cell_count: self.cell_count,
             max_rung: self.max_rung,
             deadline,
-            duration_hint: self.duration_hint,
+            duration_hint: self.duration_hint.map(nanoseconds),
             is_retry: self.is_retry,
             is_migration: self.is_migration,
         }
--- a/crates/front/src/core/requests.rs
+++ b/crates/front/src/core/requests.rs
@@ -5,7 +5,7 @@
 use crate::input::OpenRequest;
 use crate::keys::RequestOutcome;
 use crate::output::{Answer, Notification, Output, SessionEndReason};
-use crankpaddle::{AttemptOutcome, Event, RequestId, ServerId, Time};
+use crankpaddle::{AttemptOutcome, Event, RequestId, ServerId};
 
 /// A session that is tracked although this core did not set it up.
 pub(super) struct TrackedSession {
@@ -50,7 +50,10 @@
                     rung: request.rung,
                 };
                 if let Some(superseded) = request.player.filter(|player| *player != call.player) {
-                    let notification = Notification::SessionEnded(SessionEndReason::Superseded, 0);
+                    let notification = Notification::SessionEnded {
+                        reason: SessionEndReason::Superseded,
+                        retry_after: None,
+                    };
                     out.push(Output::Notify(superseded, id, notification));
                 }
                 out.push(Output::Answer(call, established));
@@ -120,7 +123,7 @@
             started_at: self.now,
             is_deferred: false,
         };
-        let viewer_deadline = Time(self.now.0.saturating_add(open.max_wait));
+        let viewer_deadline = self.now + open.max_wait;
         let session = open.session_request(id, viewer_deadline);
         let mut request = Request::new(session.clone(), open.key, None, viewer_deadline);
         request.phase = RequestPhase::Playing(attempt);
--- a/crates/front/src/core/sessions.rs
+++ b/crates/front/src/core/sessions.rs
@@ -73,10 +73,15 @@
         out: &mut Vec<Output>,
     ) {
         let notification = if outcome == AttemptOutcome::Completed {
-            Notification::SessionEnded(SessionEndReason::Finished, 0)
+            Notification::SessionEnded {
+                reason: SessionEndReason::Finished,
+                retry_after: None,
+            }
         } else {
-            let retry_after = self.overload.retry_after(jitter(id.0));
-            Notification::SessionEnded(SessionEndReason::ServerLost, retry_after)
+            Notification::SessionEnded {
+                reason: SessionEndReason::ServerLost,
+                retry_after: self.overload.retry_after(jitter(id.0)),
+            }
         };
         out.push(Output::Notify(player, id, notification));
     }
--- a/crates/front/src/core/shutdown.rs
+++ b/crates/front/src/core/shutdown.rs
@@ -51,8 +51,10 @@
         let answer = if may_have_run {
             Answer::Failed(FailureReason::Cancelled)
         } else {
-            let retry_after = self.overload.retry_after(jitter(id.0));
-            Answer::Rejected(RejectReason::ShuttingDown, retry_after)
+            Answer::Rejected {
+                reason: RejectReason::ShuttingDown,
+                retry_after: self.overload.retry_after(jitter(id.0)),
+            }
         };
         self.answer_waiting(id, answer, out);
     }
@@ -62,8 +64,10 @@
         let retry_after = self.overload.retry_after(jitter(id.0));
         self.tear_down(id, AttemptOutcome::Cancelled, RequestOutcome::Played, out);
         if let Some(player) = player {
-            let notification =
-                Notification::SessionEnded(SessionEndReason::ShuttingDown, retry_after);
+            let notification = Notification::SessionEnded {
+                reason: SessionEndReason::ShuttingDown,
+                retry_after,
+            };
             out.push(Output::Notify(player, id, notification));
         }
     }
--- a/crates/front/src/core/startup_recovery.rs
+++ b/crates/front/src/core/startup_recovery.rs
@@ -4,11 +4,12 @@
 use crate::input::OpenRequest;
 use crate::jitter::jitter;
 use crate::output::{Answer, FailureReason, Output, RejectReason};
-use crate::overload::AdmissionDecision;
+use crate::overload::{retry_after, AdmissionDecision};
 use crate::recovery_queue::{OpenCall, QueuedOpen};
 use crate::timers::TimerEntry;
 use crankpaddle::{Event, Time};
 use crankpaddle_recovery::{Admission, ConservativeBound, RecoveryStage, StagedRecovery};
+use std::time::Duration;
 
 /// What becomes of an open while the front recovers.
 pub(super) enum RecoveryDecision {
@@ -131,10 +132,11 @@
                     return RecoveryDecision::Serve;
                 }
                 let jitter = jitter(opening.call.player.0.rotate_left(32) ^ opening.call.number);
-                let retry_after = after
+                let retry_after_ns = after
                     .saturating_add((over as f64 * jitter) as u64)
                     .min(self.settings.max_retry_after);
-                RecoveryDecision::Answered(self.not_served(&opening.open, retry_after))
+                let answer = self.not_served(&opening.open, retry_after(retry_after_ns));
+                RecoveryDecision::Answered(answer)
             }
         }
     }
@@ -148,8 +150,10 @@
             .overload
             .admit(self.now, self.now, pending, pending_of_player);
         if admission == AdmissionDecision::TooManyPending {
-            let retry_after = self.overload.retry_after(jitter(call.number));
-            let answer = Answer::Rejected(RejectReason::TooManyPending, retry_after);
+            let answer = Answer::Rejected {
+                reason: RejectReason::TooManyPending,
+                retry_after: self.overload.retry_after(jitter(call.number)),
+            };
             return RecoveryDecision::Answered(answer);
         }
         let limits = self.answer_limits(&opening.open, opening.received_at);
@@ -164,13 +168,16 @@
     /// The answer to a request that could not be served in time. Why not always a rejection: it states that nothing ran, and
     /// a previous incarnation may have run this key. The price: where the disk was lost, a new paid request is answered as
     /// failed.
-    fn not_served(&self, open: &OpenRequest, retry_after: u64) -> Answer {
+    fn not_served(&self, open: &OpenRequest, retry_after: Option<Duration>) -> Answer {
         let is_known =
             self.intents_complete && !self.unresolved_keys.contains(&SessionKey::from(open));
         if self.is_paid(open.class) && !is_known {
             Answer::Failed(FailureReason::NoAnswer)
         } else {
-            Answer::Rejected(RejectReason::Recovering, retry_after)
+            Answer::Rejected {
+                reason: RejectReason::Recovering,
+                retry_after,
+            }
         }
     }
 
--- a/crates/front/src/input.rs
+++ b/crates/front/src/input.rs
@@ -5,6 +5,7 @@
     AttemptOutcome, CrossZonePolicy, Endpoint, EndpointListKind, LoadReport, RequestId, ServerId,
     SessionUpdate, Time,
 };
+use std::time::Duration;
 
 /// A player's request for a session, with all names resolved to indexes.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -25,10 +26,10 @@
     pub cell_count: u32,
     /// Highest rung that the player can use.
     pub max_rung: u8,
-    /// How long the viewer waits, nanoseconds from when the request was read; limited by the class's own bound.
-    pub max_wait: u64,
-    /// Expected viewing time, nanoseconds.
-    pub duration_hint: Option<u64>,
+    /// How long the viewer waits from when the request was read; limited by the class's own bound.
+    pub max_wait: Duration,
+    /// Expected viewing time.
+    pub duration_hint: Option<Duration>,
     /// Whether the player states that this is a retry.
     pub is_retry: bool,
     /// Whether the player states that it reopens a session that was migrated.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -20,6 +20,7 @@
 mod input;
 mod jitter;
 pub mod keys;
+mod log_text;
 mod output;
 mod overload;
 mod recovery_queue;
--- a/crates/front/src/output.rs
+++ b/crates/front/src/output.rs
@@ -2,6 +2,7 @@
 use crate::ids::{AttemptId, Call, PlayerId};
 use crankpaddle::{RequestId, ServerId, Time};
 use crankpaddle_recovery::{RecoveryStage, StageEvidence};
+use std::time::Duration;
 
 /// Why a request was rejected: no attempt of it ran, it may be sent again to any front.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,8 +50,13 @@
         /// The rung in force.
         rung: u8,
     },
-    /// Rejected; with the Retry-After in nanoseconds (0: none).
-    Rejected(RejectReason, u64),
+    /// Rejected: none of it ran, and the request may be sent again to any front.
+    Rejected {
+        /// Why.
+        reason: RejectReason,
+        /// How long the viewer is asked to wait before its next request; `None`: no advice.
+        retry_after: Option<Duration>,
+    },
     /// Failed; the set-up may have had an effect.
     Failed(FailureReason),
     /// Another connection reattached to the session with its key and gets the answer.
@@ -66,8 +72,13 @@
 pub enum Notification {
     /// The rung of its session changes.
     RungChanged(u8),
-    /// Its session has ended; with the Retry-After in nanoseconds (0: none).
-    SessionEnded(SessionEndReason, u64),
+    /// Its session has ended.
+    SessionEnded {
+        /// Why.
+        reason: SessionEndReason,
+        /// How long the viewer is asked to wait before its next request; `None`: no advice.
+        retry_after: Option<Duration>,
+    },
     /// Its session migrates: the player opens it again with the same key.
     Migrate,
 }
--- a/crates/front/src/overload.rs
+++ b/crates/front/src/overload.rs
@@ -7,6 +7,7 @@
 //! message passes quickly. Why: a front that admits everything answers everything late, and viewers who gave up retry.
 //! The price: for one interval after a stall it rejects requests that it could have served.
 use crankpaddle::Time;
+use std::time::Duration;
 
 const SECOND: u64 = 1_000_000_000;
 /// Waits are judged over this time, nanoseconds. RFC 8289 asks for an interval of about the slowest usual round trip.
@@ -83,12 +84,12 @@
         }
     }
 
-    /// Retry-After of a rejected player, nanoseconds; `jitter` in 0..1 spreads players that are rejected together.
-    pub(crate) fn retry_after(&self, jitter: f64) -> u64 {
+    /// Retry-After of a rejected player; `jitter` in 0..1 spreads players that are rejected together.
+    pub(crate) fn retry_after(&self, jitter: f64) -> Option<Duration> {
         let longest = self.limits.max_retry_after as f64;
         let steps = (1 + self.overloaded_intervals).min(RETRY_AFTER_STEPS);
         let span = (longest * steps as f64 / RETRY_AFTER_STEPS as f64).min(longest);
-        (span * (0.5 + 0.5 * jitter.clamp(0.0, 1.0))) as u64
+        retry_after((span * (0.5 + 0.5 * jitter.clamp(0.0, 1.0))) as u64)
     }
 
     fn target(&self) -> u64 {
@@ -116,5 +117,10 @@
     }
 }
 
+/// The Retry-After of a number of nanoseconds; 0 stands for none.
+pub(crate) fn retry_after(nanoseconds: u64) -> Option<Duration> {
+    (nanoseconds > 0).then(|| Duration::from_nanos(nanoseconds))
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/front/src/overload/tests.rs
+++ b/crates/front/src/overload/tests.rs
@@ -60,12 +60,12 @@
 #[test]
 fn retry_after_is_spread_and_grows_up_to_the_configured_maximum() {
     let mut detector = detector();
-    let without_load = detector.retry_after(1.0);
-    assert!(detector.retry_after(0.0) < without_load);
+    let without_load = detector.retry_after(1.0).unwrap();
+    assert!(detector.retry_after(0.0).unwrap() < without_load);
     count_admitted(&mut detector, SECOND, 2000, 60 * MS);
     assert!(
-        detector.retry_after(1.0) > without_load
-            && detector.retry_after(1.0) <= SECOND
-            && detector.retry_after(7.0) <= SECOND
+        detector.retry_after(1.0).unwrap() > without_load
+            && detector.retry_after(1.0).unwrap() <= Duration::from_nanos(SECOND)
+            && detector.retry_after(7.0).unwrap() <= Duration::from_nanos(SECOND)
     );
 }
--- a/crates/front/tests/drive/harness.rs
+++ b/crates/front/tests/drive/harness.rs
@@ -1,6 +1,7 @@
 //! A core with six servers, its clock, and what it puts out.
-use crate::common::{settings, MS, SECOND};
+use crate::common::{settings, SECOND};
 use crankpaddle_front::*;
+use std::time::Duration;
 
 /// How often the policy decides right after an input where its decisions are drawn.
 const DECISION_PROBABILITY: f32 = 0.3;
@@ -80,7 +81,7 @@
             class,
             cell_count: 6,
             max_rung: 2,
-            max_wait: 9 * SECOND,
+            max_wait: Duration::from_secs(9),
             ..OpenRequest::default()
         };
         let received = self.now;
@@ -139,13 +140,13 @@
 
 fn config() -> CoreConfig {
     CoreConfig {
-        max_wait: vec![5 * SECOND, 4 * SECOND],
-        answer_margin: 100 * MS,
-        resume_window: 3 * SECOND,
-        recovered_resume_window: 10 * SECOND,
+        max_wait: vec![Duration::from_secs(5), Duration::from_secs(4)],
+        answer_margin: Duration::from_millis(100),
+        resume_window: Duration::from_secs(3),
+        recovered_resume_window: Duration::from_secs(10),
         max_pending: 1000,
         max_pending_per_player: 50,
-        key_retention: 60 * SECOND,
+        key_retention: Duration::from_secs(60),
         max_retained_keys: 100,
     }
 }
--- a/crates/front/tests/drive/players.rs
+++ b/crates/front/tests/drive/players.rs
@@ -43,7 +43,10 @@
             Output::Notify(
                 PlayerId(2),
                 _,
-                Notification::SessionEnded(SessionEndReason::Superseded, _)
+                Notification::SessionEnded {
+                    reason: SessionEndReason::Superseded,
+                    ..
+                }
             )
         )
     };
--- a/crates/front/tests/drive/random_run.rs
+++ b/crates/front/tests/drive/random_run.rs
@@ -209,7 +209,7 @@
             "seed {seed}: late"
         );
         // A rejection states that nothing of it ran: no paid request of this key may have.
-        let is_rejected = matches!(answer, Answer::Rejected(..));
+        let is_rejected = matches!(answer, Answer::Rejected { .. });
         let may_have_run = self
             .paid_that_may_have_run
             .iter()
--- a/crates/front/tests/drive/sessions.rs
+++ b/crates/front/tests/drive/sessions.rs
@@ -3,6 +3,7 @@
 use crate::harness::{answers, set_up, Harness};
 use crankpaddle_front::*;
 use std::sync::mpsc;
+use std::time::Duration;
 
 #[test]
 fn a_lost_server_ends_its_session_with_a_retry_after_and_its_paid_key_is_spent() {
@@ -11,7 +12,7 @@
     let (attempt, _) = set_up(&outputs).unwrap();
     harness.start(attempt);
     let outputs = harness.handle(Input::SessionEnded(attempt, AttemptOutcome::Reset, vec![]));
-    let is_lost = |output: &Output| matches!(output, Output::Notify(PlayerId(1), _, Notification::SessionEnded(SessionEndReason::ServerLost, retry_after)) if *retry_after > 0);
+    let is_lost = |output: &Output| matches!(output, Output::Notify(PlayerId(1), _, Notification::SessionEnded { reason: SessionEndReason::ServerLost, retry_after }) if *retry_after > Some(Duration::ZERO));
     assert!(outputs.iter().any(is_lost));
     let (call, outputs) = harness.open(1, "a", PAID);
     assert_eq!(
@@ -65,7 +66,10 @@
         answers(&outputs)
             .into_iter()
             .find_map(|(_, answer)| match answer {
-                Answer::Rejected(reason, retry_after) => Some((reason, retry_after > 0)),
+                Answer::Rejected {
+                    reason,
+                    retry_after,
+                } => Some((reason, retry_after > Some(Duration::ZERO))),
                 _ => None,
             })
     };
@@ -145,7 +149,7 @@
     harness.handle(Input::Drain);
     let (call, outputs) = harness.open(2, "b", FREE);
     assert!(
-        matches!(answers(&outputs)[..], [(c, Answer::Rejected(RejectReason::ShuttingDown, retry_after))] if c == call && retry_after > 0)
+        matches!(answers(&outputs)[..], [(c, Answer::Rejected { reason: RejectReason::ShuttingDown, retry_after })] if c == call && retry_after > Some(Duration::ZERO))
     );
     assert_eq!(answers(&harness.start(attempt)).len(), 1);
     let outputs = harness.handle(Input::Stop);
--- a/crates/front/tests/drive/set_ups.rs
+++ b/crates/front/tests/drive/set_ups.rs
@@ -92,7 +92,10 @@
         [Output::Notify(
             PlayerId(1),
             _,
-            Notification::SessionEnded(SessionEndReason::Finished, _)
+            Notification::SessionEnded {
+                reason: SessionEndReason::Finished,
+                ..
+            }
         )]
     ));
     assert_eq!(
@@ -145,7 +148,7 @@
     ));
     let stopped = answers(&harness.handle_input(Input::Stop));
     assert!(
-        matches!(stopped[..], [(c, Answer::Rejected(RejectReason::ShuttingDown, _))] if c == call),
+        matches!(stopped[..], [(c, Answer::Rejected { reason: RejectReason::ShuttingDown, .. })] if c == call),
         "{stopped:?}"
     );
     assert!(harness.decide().is_empty());
--- a/crates/front/tests/startup_recovery.rs
+++ b/crates/front/tests/startup_recovery.rs
@@ -4,6 +4,7 @@
 use common::*;
 use crankpaddle_front::keys::RequestOutcome;
 use crankpaddle_front::*;
+use std::time::Duration;
 
 struct Harness {
     core: Core,
@@ -16,13 +17,13 @@
 fn harness(previous_shutdown: PreviousShutdown, previous_fronts: u32) -> Harness {
     let now = 1000 * SECOND;
     let config = CoreConfig {
-        max_wait: vec![5 * SECOND, 4 * SECOND],
-        answer_margin: 100 * MS,
-        resume_window: 3 * SECOND,
-        recovered_resume_window: 10 * SECOND,
+        max_wait: vec![Duration::from_secs(5), Duration::from_secs(4)],
+        answer_margin: Duration::from_millis(100),
+        resume_window: Duration::from_secs(3),
+        recovered_resume_window: Duration::from_secs(10),
         max_pending: 20,
         max_pending_per_player: 5,
-        key_retention: 60 * SECOND,
+        key_retention: Duration::from_secs(60),
         max_retained_keys: 100,
     };
     let timeouts = crankpaddle_recovery::StageTimeouts {
@@ -78,7 +79,7 @@
             class,
             cell_count: 3,
             max_rung: 1,
-            max_wait: u64::MAX,
+            max_wait: Duration::MAX,
             ..OpenRequest::default()
         };
         let received = Time(self.now);
@@ -167,12 +168,15 @@
     let outputs = harness.complete_reconciliation();
     assert_eq!(set_ups(&outputs), 1, "the paid one");
     assert!(answer(&outputs, paid).is_none());
-    let Some(Answer::Rejected(RejectReason::Recovering, retry_after)) = answer(&outputs, free)
+    let Some(Answer::Rejected {
+        reason: RejectReason::Recovering,
+        retry_after,
+    }) = answer(&outputs, free)
     else {
         panic!("{outputs:?}")
     };
     assert!(
-        *retry_after > 0 && *retry_after <= SECOND,
+        *retry_after > Some(Duration::ZERO) && *retry_after <= Some(Duration::from_nanos(SECOND)),
         "no longer than the configured maximum"
     );
     // A second without a rejected paid request: all classes are served.
@@ -206,20 +210,29 @@
     let outputs = harness.advance(2 * SECOND);
     assert!(matches!(
         answer(&outputs, new),
-        Some(Answer::Rejected(RejectReason::Recovering, _))
+        Some(Answer::Rejected {
+            reason: RejectReason::Recovering,
+            ..
+        })
     ));
     // Why it fails: a rejection states that nothing ran.
     assert_eq!(
         answer(&outputs, begun),
         Some(&Answer::Failed(FailureReason::NoAnswer))
     );
-    assert!(matches!(answer(&outputs, free), Some(Answer::Rejected(..))));
+    assert!(matches!(
+        answer(&outputs, free),
+        Some(Answer::Rejected { .. })
+    ));
     assert_eq!(harness.core.queued_for_recovery(), 0);
     // No server is known that could report: later requests are rejected at once with a Retry-After.
     let (late, outputs) = harness.open("late", FREE);
     assert!(matches!(
         answer(&outputs, late),
-        Some(Answer::Rejected(RejectReason::Recovering, _))
+        Some(Answer::Rejected {
+            reason: RejectReason::Recovering,
+            ..
+        })
     ));
 }
 
@@ -374,7 +387,10 @@
     let rejected = calls.iter().filter(|(call, outputs)| {
         matches!(
             answer(outputs, *call),
-            Some(Answer::Rejected(RejectReason::TooManyPending, _))
+            Some(Answer::Rejected {
+                reason: RejectReason::TooManyPending,
+                ..
+            })
         )
     });
     assert_eq!(
@@ -409,7 +425,7 @@
             attempt = outputs.iter().find_map(started).unwrap_or(attempt);
             outputs_since.extend(outputs);
         }
-        let is_rejected = matches!(answer(&outputs_since, call), Some(Answer::Rejected(..)));
+        let is_rejected = matches!(answer(&outputs_since, call), Some(Answer::Rejected { .. }));
         let has_failed = matches!(answer(&outputs_since, call), Some(Answer::Failed(..)));
         assert_eq!(
             (is_rejected, has_failed),
--- a/crates/node/src/event_loop/client_notifications.rs
+++ b/crates/node/src/event_loop/client_notifications.rs
@@ -20,16 +20,19 @@
                 .sessions
                 .get(&player)
                 .map(|session| display(session.session_id)),
-            ?answer,
+            answer = ?answer.log_text(),
             "set-up answered"
         );
         match answer {
             Answer::Established { .. } => self.send_established(player),
-            Answer::Rejected(reason, retry_after) => {
+            Answer::Rejected {
+                reason,
+                retry_after,
+            } => {
                 self.send_finish(
                     player,
                     rejection_cause(*reason),
-                    retry_after_ms(*retry_after),
+                    retry_after.and_then(retry_after_ms),
                 );
             }
             Answer::Failed(_) => self.send_finish(player, cause::CUT, None),
@@ -69,7 +72,7 @@
         let Some(session) = self.remove_session(player) else {
             return;
         };
-        tracing::trace!(%session_id, connection_id = session.connection.0, ?notification, "session ended");
+        tracing::trace!(%session_id, connection_id = session.connection.0, notification = ?notification.log_text(), "session ended");
         self.send_notification(session.connection, message);
     }
 
@@ -111,10 +114,11 @@
 fn notification_message(session_id: Tag, notification: &Notification) -> Option<Vec<u8>> {
     match notification {
         Notification::RungChanged(_) => None, // The protocol has no message for rungs.
-        Notification::SessionEnded(SessionEndReason::Finished, _) => {
-            Some(viewers::finish(session_id, cause::NORMAL, None))
-        }
-        Notification::SessionEnded(_, _) => Some(viewers::finish(session_id, cause::CUT, None)),
+        Notification::SessionEnded {
+            reason: SessionEndReason::Finished,
+            ..
+        } => Some(viewers::finish(session_id, cause::NORMAL, None)),
+        Notification::SessionEnded { .. } => Some(viewers::finish(session_id, cause::CUT, None)),
         Notification::Migrate => Some(viewers::moved(session_id)),
     }
 }
--- a/crates/node/src/event_loop/client_requests.rs
+++ b/crates/node/src/event_loop/client_requests.rs
@@ -6,7 +6,9 @@
 use crankpaddle_net::clock;
 use crankpaddle_node_protocol::viewers::{self, cause, InvalidField, Message, SetUpParams};
 use crankpaddle_node_protocol::Tag;
+use crankpaddle_time::nanoseconds;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 /// A set-up whose fields are in range.
 struct SetUpRequest {
@@ -115,14 +117,15 @@
         let pending = viewer.pending_set_ups.load(Ordering::Relaxed);
         if pending >= self.shared.budget.pending_set_ups_per_connection {
             increment(&self.shared.drop_counters.too_many_pending);
-            let retry_after = self.shared.config.fleet.settings.max_retry_after;
+            let retry_after =
+                Duration::from_nanos(self.shared.config.fleet.settings.max_retry_after);
             let message =
                 viewers::finish(session_id, cause::CONGESTION, retry_after_ms(retry_after));
             self.send_to_viewer(connection, &message);
             return;
         }
         viewer.pending_set_ups.fetch_add(1, Ordering::AcqRel);
-        viewer.extend_output_deadline(received_at.saturating_add(open.max_wait));
+        viewer.extend_output_deadline(received_at.saturating_add(nanoseconds(open.max_wait)));
         tracing::trace!(%session_id, connection_id = connection.0, opts = ?set_up.opts, "set-up received");
         let description = set_up.blob.clone().unwrap_or_default();
         let player = self.insert_session(Session {
@@ -192,10 +195,10 @@
             first_cell: params.first_cell,
             cell_count: params.cell_count,
             max_rung: params.max_rung,
-            max_wait,
+            max_wait: Duration::from_nanos(max_wait),
             duration_hint: params
                 .duration_hint_ms
-                .map(|ms| (ms * MILLISECOND as f64) as u64),
+                .map(|ms| Duration::from_nanos((ms * MILLISECOND as f64) as u64)),
             is_retry: params.is_retry,
             is_migration: params.is_migration,
         })
@@ -285,7 +288,7 @@
 }
 
 /// How long to stay away, in the milliseconds of the protocol; none where that is less than one.
-pub(super) fn retry_after_ms(retry_after: u64) -> Option<u64> {
-    let milliseconds = retry_after / MILLISECOND;
+pub(super) fn retry_after_ms(retry_after: Duration) -> Option<u64> {
+    let milliseconds = nanoseconds(retry_after) / MILLISECOND;
     (milliseconds > 0).then_some(milliseconds)
 }
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -48,13 +48,14 @@
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::RecvTimeoutError;
 use std::sync::Arc;
+use std::time::Duration;
 
 const MILLISECOND: u64 = 1_000_000;
 const SECOND: u64 = 1000 * MILLISECOND;
 /// Messages handled before timers are looked at.
 const MESSAGE_BATCH: usize = 128;
 /// A set-up is answered so long before its viewer times out at the latest.
-const ANSWER_MARGIN: u64 = 15 * MILLISECOND;
+const ANSWER_MARGIN: Duration = Duration::from_millis(15);
 /// What a viewer may wait beyond its class's deadline; more is out of range.
 const DEADLINE_SLACK: u64 = SECOND;
 /// A release that can't be sent is retried for this long.
@@ -100,14 +101,14 @@
     CoreConfig {
         max_wait: deadlines
             .iter()
-            .map(|deadline| deadline.saturating_add(DEADLINE_SLACK))
+            .map(|deadline| Duration::from_nanos(deadline.saturating_add(DEADLINE_SLACK)))
             .collect(),
         answer_margin: ANSWER_MARGIN,
-        resume_window: 0,
-        recovered_resume_window: 0, // Nothing is persisted here.
+        resume_window: Duration::ZERO,
+        recovered_resume_window: Duration::ZERO, // Nothing is persisted here.
         max_pending: shared.budget.pending_set_ups,
         max_pending_per_player: 1,
-        key_retention: 0,
+        key_retention: Duration::ZERO,
         max_retained_keys: 0, // Each set-up has an id of its own.
     }
 }
--- a/crates/session-api/src/answers.rs
+++ b/crates/session-api/src/answers.rs
@@ -11,6 +11,7 @@
 };
 use serde::Serialize;
 use serde_json::Value;
+use std::time::Duration;
 
 /// Error code: rejected. None of it ran; the request may be retried at any front. (The API's documents call it
 /// refused.)
@@ -22,7 +23,7 @@
 /// Error code: no such session, or not one of this connection.
 pub const UNKNOWN_SESSION: i64 = -32004;
 
-const NANOSECONDS_PER_MILLISECOND: u64 = 1_000_000;
+const NANOSECONDS_PER_MILLISECOND: u128 = 1_000_000;
 
 /// The reason on the wire. A version that lacks a reason gets the nearest that it has.
 fn refused_reason(reason: RejectReason, version: Version) -> RefusedReason {
@@ -57,8 +58,11 @@
 }
 
 /// Retry-After in milliseconds, rounded up; `None` where the front gives no advice.
-fn retry_after_ms(nanoseconds: u64) -> Option<u64> {
-    (nanoseconds > 0).then(|| nanoseconds.div_ceil(NANOSECONDS_PER_MILLISECOND))
+fn retry_after_ms(retry_after: Option<Duration>) -> Option<u64> {
+    let milliseconds = retry_after?
+        .as_nanos()
+        .div_ceil(NANOSECONDS_PER_MILLISECOND);
+    Some(u64::try_from(milliseconds).unwrap_or(u64::MAX))
 }
 
 fn to_json(message: impl Serialize) -> Value {
@@ -89,7 +93,10 @@
             jsonrpc::result(id, to_json(opened))
         }
         Answer::Closed => jsonrpc::result(id, to_json(Closed { closed: true })),
-        Answer::Rejected(reason, retry_after) => {
+        Answer::Rejected {
+            reason,
+            retry_after,
+        } => {
             let refused = Refused {
                 reason: refused_reason(*reason, version),
                 retry_after_ms: retry_after_ms(*retry_after),
@@ -115,7 +122,10 @@
         Notification::RungChanged(rung) => {
             jsonrpc::notification("session.rung", to_json(RungChanged { session, rung }))
         }
-        Notification::SessionEnded(reason, retry_after) => {
+        Notification::SessionEnded {
+            reason,
+            retry_after,
+        } => {
             let ended = Ended {
                 session,
                 reason: end_reason(reason),
--- a/crates/session-api/src/client/tests.rs
+++ b/crates/session-api/src/client/tests.rs
@@ -7,6 +7,7 @@
     Answer, AttemptId, FailureReason, Notification, RejectReason, RequestId, ServerId,
     SessionEndReason,
 };
+use std::time::Duration;
 
 #[test]
 fn a_front_reads_what_a_player_writes() {
@@ -97,7 +98,10 @@
     for (written, want) in [
         (established(), plays),
         (
-            Answer::Rejected(RejectReason::NoCapacity, 1_500_000),
+            Answer::Rejected {
+                reason: RejectReason::NoCapacity,
+                retry_after: Some(Duration::from_nanos(1_500_000)),
+            },
             rejected,
         ),
         (Answer::Failed(FailureReason::ConnectionLost), failed),
@@ -113,7 +117,10 @@
 #[test]
 fn a_player_reads_the_notifications_that_a_front_writes() {
     let session = "s-3".to_owned();
-    let ended = Notification::SessionEnded(SessionEndReason::ServerLost, 0);
+    let ended = Notification::SessionEnded {
+        reason: SessionEndReason::ServerLost,
+        retry_after: None,
+    };
     for (written, want) in [
         (
             Notification::RungChanged(2),
@@ -149,7 +156,10 @@
 
 #[test]
 fn an_older_version_gets_none_of_what_a_newer_one_adds() {
-    let rejected = Answer::Rejected(RejectReason::CrossZoneForbidden, 0);
+    let rejected = Answer::Rejected {
+        reason: RejectReason::CrossZoneForbidden,
+        retry_after: None,
+    };
     let reason =
         |version| answer_to_call(version, &rejected, "", "")["error"]["data"]["reason"].clone();
     assert_eq!(
--- a/crates/testbed/src/scenario_runner/arrivals.rs
+++ b/crates/testbed/src/scenario_runner/arrivals.rs
@@ -3,6 +3,7 @@
 use crate::player::Visit;
 use crate::script::{Day, Kind};
 use crankpaddle_config::Config;
+use crankpaddle_time::nanoseconds;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -82,7 +83,7 @@
             title: self.titles[title].clone(),
             class: (class as u8, self.config.classes[class].clone()),
             watch: watch.clamp(mean_watch / 10, mean_watch * 4),
-            patience: self.config.terms.max_wait[class],
+            patience: nanoseconds(self.config.terms.max_wait[class]),
             top: if small_screen { rungs / 2 } else { rungs - 1 },
             fronts: Vec::new(),
         }
--- a/crates/testbed/src/wind_down.rs
+++ b/crates/testbed/src/wind_down.rs
@@ -2,6 +2,7 @@
 use crate::player::PlayerPool;
 use crate::server::Fleet;
 use crankpaddle_net::clock;
+use crankpaddle_time::nanoseconds;
 use std::time::Duration;
 
 const SECOND: u64 = 1_000_000_000;
@@ -21,7 +22,8 @@
 /// Waits until the servers have no streams: a front ends sessions of absent players after the resume window. The fault
 /// where some are left.
 pub(crate) fn wait_for_streams(fleet: &Fleet) -> Option<String> {
-    let deadline = clock::now().as_nanos() + fleet.config.terms.resume_window + SESSION_END_GRACE;
+    let deadline =
+        clock::now().as_nanos() + nanoseconds(fleet.config.terms.resume_window) + SESSION_END_GRACE;
     while fleet.streams() > 0 && clock::now().as_nanos() < deadline {
         std::thread::sleep(CHECK_INTERVAL);
     }
