Front: load shedding, set-up time-outs and set-up times use Duration and Time

The overload detector computed with u64 nanoseconds and took Time(0) for "no interval yet"; it holds Duration and Option<Time> now. An attempt's time-out is an Option<Duration> from where the policy's action is carried out. The f64 expression of the Retry-After is unchanged. The tests change only in the types that they write.

--- a/crates/front/src/core/actions.rs
+++ b/crates/front/src/core/actions.rs
@@ -6,6 +6,7 @@
 use crate::timers::TimerEntry;
 use crankpaddle::{Action, AttemptOutcome, LoadReport, RequestId};
 use crankpaddle_recovery::RecoveryStage;
+use std::time::Duration;
 
 impl Core {
     /// Passes the queued events to the policy and carries its actions out, until nothing is left of either.
@@ -29,7 +30,10 @@
                 request,
                 server,
                 timeout,
-            } => self.start_attempt(request, server, timeout, out),
+            } => {
+                let timeout = (timeout > 0).then(|| Duration::from_nanos(timeout));
+                self.start_attempt(request, server, timeout, out);
+            }
             Action::SetRung { request, rung } => self.set_rung(request, rung, out),
             Action::Reject {
                 request,
--- a/crates/front/src/core/attempts.rs
+++ b/crates/front/src/core/attempts.rs
@@ -6,6 +6,7 @@
 use crate::keys::{self, RequestOutcome};
 use crate::output::{Answer, FailureReason, Output};
 use crankpaddle::{AttemptOutcome, Event, LoadField, LoadReport, RequestId, SessionUpdate};
+use crankpaddle_time::nanoseconds;
 
 impl Core {
     /// A server answered a set-up, or its attempt ended without an answer.
@@ -80,7 +81,7 @@
             request: id,
             attempt: number,
             server: attempt.server,
-            setup_time: self.now.0.saturating_sub(attempt.started_at.0),
+            setup_time: nanoseconds(self.now.duration_since(attempt.started_at)),
         });
     }
 
--- a/crates/front/src/core/mod.rs
+++ b/crates/front/src/core/mod.rs
@@ -36,12 +36,13 @@
 use crankpaddle_recovery::{ConservativeBound, StagedRecovery};
 use request::{Player, Request, SessionKey};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::time::Duration;
 
 /// Observes the events that the placement policy gets.
 pub type EventObserver = Box<dyn FnMut(Time, &Event) + Send>;
 
-/// Latency objective where no class is configured, nanoseconds.
-const DEFAULT_LATENCY_OBJECTIVE: u64 = 1_000_000_000;
+/// Latency objective where no class is configured.
+const DEFAULT_LATENCY_OBJECTIVE: Duration = Duration::from_secs(1);
 
 /// The state of a front. The crate's documentation describes how it is driven.
 pub struct Core {
@@ -244,7 +245,9 @@
     OverloadLimits {
         max_pending: config.max_pending,
         max_pending_per_player: config.max_pending_per_player,
-        latency_objective: objectives.min().unwrap_or(DEFAULT_LATENCY_OBJECTIVE),
-        max_retry_after: settings.max_retry_after,
+        latency_objective: objectives
+            .min()
+            .map_or(DEFAULT_LATENCY_OBJECTIVE, Duration::from_nanos),
+        max_retry_after: Duration::from_nanos(settings.max_retry_after),
     }
 }
--- a/crates/front/src/core/set_up.rs
+++ b/crates/front/src/core/set_up.rs
@@ -5,6 +5,7 @@
 use crate::output::{Output, SetUpOrder};
 use crate::timers::TimerEntry;
 use crankpaddle::{AttemptOutcome, Event, LoadReport, RequestId, ServerId, Time};
+use std::time::Duration;
 
 impl Core {
     /// Whether an outstanding attempt that was not sent yet may still be sent: to be called right before, since its
@@ -23,19 +24,19 @@
         is_outstanding && now < request.viewer_deadline && self.policy.may_send(now, *id)
     }
 
-    /// Starts an attempt; `timeout` in nanoseconds, 0: until the request must be answered.
+    /// Starts an attempt; without a `timeout` it may last until the request must be answered.
     pub(super) fn start_attempt(
         &mut self,
         request: RequestId,
         server: ServerId,
-        timeout: u64,
+        timeout: Option<Duration>,
         out: &mut Vec<Output>,
     ) {
         if !self.may_start_attempt(request) {
             return self.report_not_sent(request, server);
         }
         let id = self.next_attempt_id();
-        let timeout_at = (timeout > 0).then(|| Time(self.now.0.saturating_add(timeout)));
+        let timeout_at = timeout.map(|timeout| self.now + timeout);
         let attempt = OutstandingAttempt {
             id,
             server,
--- a/crates/front/src/overload.rs
+++ b/crates/front/src/overload.rs
@@ -7,14 +7,16 @@
 //! message passes quickly. Why: a front that admits everything answers everything late, and viewers who gave up retry.
 //! The price: for one interval after a stall it rejects requests that it could have served.
 use crankpaddle::Time;
+use crankpaddle_time::nanoseconds;
 use std::time::Duration;
 
-const SECOND: u64 = 1_000_000_000;
-/// Waits are judged over this time, nanoseconds. RFC 8289 asks for an interval of about the slowest usual round trip.
-const INTERVAL: u64 = SECOND / 10;
-/// The least wait may be this fraction (reciprocal) of the shortest latency objective: more of it spent in our own queue
-/// leaves servers too little.
-const TARGET_DIVISOR: u64 = 16;
+/// Waits are judged over this time. RFC 8289 asks for an interval of about the slowest usual round trip.
+const INTERVAL: Duration = Duration::from_millis(100);
+/// The least wait may be this fraction (reciprocal) of the shortest latency objective: a longer wait in the front's own
+/// queue leaves the servers too little time.
+const TARGET_DIVISOR: u32 = 16;
+/// Lower bound of that target.
+const MIN_TARGET: Duration = Duration::from_nanos(1);
 /// The Retry-After grows by this fraction (reciprocal) of the longest one with each interval of overload.
 const RETRY_AFTER_STEPS: u64 = 4;
 
@@ -25,10 +27,10 @@
     pub max_pending: usize,
     /// Pending requests of one player's connection.
     pub max_pending_per_player: usize,
-    /// Shortest latency objective of a class, nanoseconds.
-    pub latency_objective: u64,
-    /// Longest Retry-After that players follow, nanoseconds.
-    pub max_retry_after: u64,
+    /// Shortest latency objective of a class.
+    pub latency_objective: Duration,
+    /// Longest Retry-After that players follow.
+    pub max_retry_after: Duration,
 }
 
 /// Whether the front admits a request.
@@ -46,9 +48,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct OverloadDetector {
     limits: OverloadLimits,
-    /// Least wait seen in the current interval, nanoseconds.
-    min_wait: u64,
-    interval_ends_at: Time,
+    /// Least wait seen in the current interval.
+    min_wait: Duration,
+    /// `None` before the first request.
+    interval_ends_at: Option<Time>,
     /// Consecutive intervals over the target.
     overloaded_intervals: u64,
 }
@@ -57,8 +60,8 @@
     pub(crate) fn new(limits: OverloadLimits) -> OverloadDetector {
         OverloadDetector {
             limits,
-            min_wait: u64::MAX,
-            interval_ends_at: Time(0),
+            min_wait: Duration::MAX,
+            interval_ends_at: None,
             overloaded_intervals: 0,
         }
     }
@@ -72,7 +75,7 @@
         pending: usize,
         pending_of_player: usize,
     ) -> AdmissionDecision {
-        self.record_wait(now, now.0.saturating_sub(received_at.0));
+        self.record_wait(now, now.duration_since(received_at));
         if pending >= self.limits.max_pending
             || pending_of_player >= self.limits.max_pending_per_player
         {
@@ -86,19 +89,19 @@
 
     /// Retry-After of a rejected player; `jitter` in 0..1 spreads players that are rejected together.
     pub(crate) fn retry_after(&self, jitter: f64) -> Option<Duration> {
-        let longest = self.limits.max_retry_after as f64;
+        let longest = nanoseconds(self.limits.max_retry_after) as f64;
         let steps = (1 + self.overloaded_intervals).min(RETRY_AFTER_STEPS);
         let span = (longest * steps as f64 / RETRY_AFTER_STEPS as f64).min(longest);
         retry_after((span * (0.5 + 0.5 * jitter.clamp(0.0, 1.0))) as u64)
     }
 
-    fn target(&self) -> u64 {
-        (self.limits.latency_objective / TARGET_DIVISOR).max(1)
+    fn target(&self) -> Duration {
+        (self.limits.latency_objective / TARGET_DIVISOR).max(MIN_TARGET)
     }
 
-    fn record_wait(&mut self, now: Time, wait: u64) {
+    fn record_wait(&mut self, now: Time, wait: Duration) {
         self.min_wait = self.min_wait.min(wait);
-        let interval_over = now >= self.interval_ends_at;
+        let interval_over = self.interval_ends_at.is_none_or(|end| now >= end);
         if wait <= self.target() {
             self.overloaded_intervals = 0; // One quick passage shows that the queue has drained.
         } else if interval_over && self.was_busy_until(now) && self.min_wait > self.target() {
@@ -106,14 +109,15 @@
         }
         if interval_over {
             self.min_wait = wait;
-            self.interval_ends_at = Time(now.0.saturating_add(INTERVAL));
+            self.interval_ends_at = Some(now + INTERVAL);
         }
     }
 
     /// Whether the interval that just ended was followed by messages without a pause. The first message after a pause
     /// opens an interval; alone it does not show a standing queue.
     fn was_busy_until(&self, now: Time) -> bool {
-        self.interval_ends_at != Time(0) && now.0 - self.interval_ends_at.0 < INTERVAL
+        self.interval_ends_at
+            .is_some_and(|end| now.duration_since(end) < INTERVAL)
     }
 }
 
--- a/crates/front/src/overload/tests.rs
+++ b/crates/front/src/overload/tests.rs
@@ -1,13 +1,14 @@
 //! Load shedding by the wait and the number of pending requests.
 use super::*;
 const MS: u64 = 1_000_000;
+const SECOND: u64 = 1000 * MS;
 
 fn detector() -> OverloadDetector {
     OverloadDetector::new(OverloadLimits {
         max_pending: 10,
         max_pending_per_player: 3,
-        latency_objective: 800 * MS,
-        max_retry_after: SECOND,
+        latency_objective: Duration::from_nanos(800 * MS),
+        max_retry_after: Duration::from_nanos(SECOND),
     })
 }
 
