Front: two inputs with a bare bool get named fields

SendDeferred(attempt, true) did not say what true means. The inputs are SendDeferralChanged { attempt, is_deferred } and RateCapChanged { attempt, is_capped } now.

--- a/crates/daemon/src/event_loop/durable_setup.rs
+++ b/crates/daemon/src/event_loop/durable_setup.rs
@@ -35,7 +35,10 @@
                 is_durable: false,
             });
         }
-        self.handle_core_input(Input::SendDeferred(attempt, true));
+        self.handle_core_input(Input::SendDeferralChanged {
+            attempt,
+            is_deferred: true,
+        });
     }
 
     /// Queues the write of an intent; false where nothing can be written.
@@ -86,7 +89,10 @@
             return; // The attempt was abandoned meanwhile.
         };
         if is_durable {
-            self.handle_core_input(Input::SendDeferred(attempt, false));
+            self.handle_core_input(Input::SendDeferralChanged {
+                attempt,
+                is_deferred: false,
+            });
             attempt_sender::send(self.shared.clone(), attempt, request);
         } else {
             // Why it is never sent: a power loss would erase all knowledge of it, and it would be sold again.
--- a/crates/daemon/src/event_loop/maintenance.rs
+++ b/crates/daemon/src/event_loop/maintenance.rs
@@ -32,7 +32,10 @@
     fn cap_rates(&mut self, sessions: &[u64], is_capped: bool) {
         for session in sessions {
             tracing::info!(attempt_id = session, is_capped, "rate cap changed");
-            self.handle_core_input(Input::RateCapped(AttemptId(*session), is_capped));
+            self.handle_core_input(Input::RateCapChanged {
+                attempt: AttemptId(*session),
+                is_capped,
+            });
         }
     }
 
--- a/crates/front/src/core/attempts.rs
+++ b/crates/front/src/core/attempts.rs
@@ -118,8 +118,8 @@
         }
     }
 
-    /// The front defers sending an attempt, or sends it now.
-    pub(super) fn send_deferred(&mut self, attempt: AttemptId, is_deferred: bool) {
+    /// Records whether an attempt is deferred, which decides what its time-out means.
+    pub(super) fn send_deferral_changed(&mut self, attempt: AttemptId, is_deferred: bool) {
         let Some((_, request)) = self.request_of(attempt) else {
             return;
         };
--- a/crates/front/src/core/sessions.rs
+++ b/crates/front/src/core/sessions.rs
@@ -87,7 +87,7 @@
     }
 
     /// Limits a playing session to its lowest rung, or lifts that limit.
-    pub(super) fn rate_capped(&mut self, attempt: AttemptId, is_capped: bool) {
+    pub(super) fn rate_cap_changed(&mut self, attempt: AttemptId, is_capped: bool) {
         let Some((id, request)) = self.request_of(attempt) else {
             return;
         };
--- a/crates/front/src/input.rs
+++ b/crates/front/src/input.rs
@@ -91,9 +91,14 @@
     EndpointList(EndpointListKind, Vec<Endpoint>),
     /// A set-up has a result.
     SetUpCompleted(AttemptId, SetUpResult),
-    /// Sending an attempt is deferred by the front itself, so that it has not left (`true`), or it is sent now (`false`).
-    /// An attempt without this input is sent at once.
-    SendDeferred(AttemptId, bool),
+    /// The front itself defers sending an attempt, or sends a deferred one now. An attempt without this input is sent at
+    /// once.
+    SendDeferralChanged {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Whether it is deferred, so that no server has received it.
+        is_deferred: bool,
+    },
     /// A server reported a change of a playing session.
     SessionUpdated(AttemptId, SessionUpdate),
     /// A playing session ended at its server: `Completed` when it ran to its end, `Reset` when the server was lost.
@@ -107,8 +112,13 @@
         /// The policy in force from now on.
         policy: CrossZonePolicy,
     },
-    /// A playing session is limited to its lowest rung (`true`), or may use all rungs that its viewer can use (`false`).
-    RateCapped(AttemptId, bool),
+    /// The rate cap of a playing session was set or lifted.
+    RateCapChanged {
+        /// The attempt that established the session.
+        attempt: AttemptId,
+        /// Whether it is limited to its lowest rung; otherwise it may use all rungs that its viewer can use.
+        is_capped: bool,
+    },
     /// A health check has a result.
     HealthCheckCompleted(ServerId, AttemptOutcome, LoadReport),
     /// Number of known fronts in the fleet, including this one and those that may only be unreachable.
--- a/crates/front/tests/drive/sessions.rs
+++ b/crates/front/tests/drive/sessions.rs
@@ -29,11 +29,11 @@
     let (_, outputs) = harness.open(1, "a", FREE);
     let (attempt, server) = set_up(&outputs).unwrap();
     assert!(
-        harness.handle(Input::RateCapped(attempt, true)).is_empty(),
+        harness.cap_rate(attempt, true).is_empty(),
         "a session that does not play yet is not demoted"
     );
     harness.start(attempt);
-    let demoted = harness.handle(Input::RateCapped(attempt, true));
+    let demoted = harness.cap_rate(attempt, true);
     assert!(
         demoted.contains(&Output::SetRung(attempt, server, 0)),
         "{demoted:?}"
@@ -45,7 +45,7 @@
             .all(|output| !matches!(output, Output::SetRung(..))),
         "and stays there"
     );
-    let mut after = harness.handle(Input::RateCapped(attempt, false));
+    let mut after = harness.cap_rate(attempt, false);
     after.extend(harness.advance(90 * SECOND));
     assert!(after
         .iter()
--- a/crates/front/tests/startup_recovery.rs
+++ b/crates/front/tests/startup_recovery.rs
@@ -420,7 +420,10 @@
         let mut attempt = outputs.iter().find_map(started).unwrap();
         let mut outputs_since = Vec::new();
         while harness.core.waiting() > 0 {
-            harness.handle(Input::SendDeferred(attempt, is_deferred));
+            harness.handle(Input::SendDeferralChanged {
+                attempt,
+                is_deferred,
+            });
             let outputs = harness.advance(100 * MS);
             attempt = outputs.iter().find_map(started).unwrap_or(attempt);
             outputs_since.extend(outputs);
