Front: comments and texts of violated invariants in plain sentences

Some comments and the texts of InvariantViolation kept the earlier house wording ("past and owed"); nothing outside the tests shows these texts. The settings of a class are looked up in one place. KeyState is used within the crate only, so it is no longer public.

--- a/crates/front/src/core/attempts.rs
+++ b/crates/front/src/core/attempts.rs
@@ -136,7 +136,8 @@
         let Some(outstanding) = request.waiting_attempt() else {
             return;
         };
-        // Why: what a slow disk defers has not left; reported as one that may have run, a paid request would fail for it.
+        // Why: an attempt that a slow disk defers was not sent. Reported as one that may have run, it would make a paid
+        // request fail.
         let outcome = if outstanding.is_deferred {
             AttemptOutcome::NotSent
         } else {
@@ -159,8 +160,8 @@
         self.fail_if_unanswered(id, out);
     }
 
-    /// Answers a request that waits without an outstanding attempt, since it would never be answered. The policy decides on
-    /// each such request at once; the core answers should it ever not.
+    /// Fails a request that waits without an outstanding attempt, since nothing else would answer it. The policy decides on
+    /// each request at once; this is a safeguard should it ever not.
     pub(super) fn fail_if_unanswered(&mut self, id: RequestId, out: &mut Vec<Output>) {
         let Some(request) = self.requests.get(&id) else {
             return;
@@ -224,8 +225,10 @@
     }
 }
 
-/// The answer to a set-up that started. Why not always `established`: a session that was cut meanwhile does not play, and
-/// its viewer would wait for ever; it ran, so it has failed. One that came to its end has played.
+/// The answer to a set-up that started: `established`, unless the session was cut before its answer was handled.
+///
+/// Why: a session that was cut does not play, and its viewer would wait for it for ever. It is not rejected, since it ran.
+/// A session that already ran to its end is answered as established.
 fn answer_to_set_up(established: Answer, early_end: Option<&SessionEnd>) -> Answer {
     if early_end.is_some_and(SessionEnd::was_cut) {
         Answer::Failed(FailureReason::ConnectionLost)
--- a/crates/front/src/core/dispatch.rs
+++ b/crates/front/src/core/dispatch.rs
@@ -5,14 +5,14 @@
 use crankpaddle::{AttemptOutcome, CrossZonePolicy, Event, LoadReport, ServerId, Time};
 
 impl Core {
-    /// Handles `input` at `now` and adds to `out` what follows from it whatever the policy decides: answers of servers
-    /// that are passed on, ends, withdrawals. Carry these out, handle further inputs, and only then call
+    /// Handles `input` at `now` and adds to `out` what does not depend on the policy: the answers of servers, ends of
+    /// sessions, withdrawals. Carry these out, handle the other inputs that are ready, and only then call
     /// [`Core::decide`]. Only further inputs may come between an input and its decision.
     ///
-    /// Why: an answer that waits for the policy's work on the same event (sizing, promotions), or on those received before
-    /// it, reaches a viewer who has just left; on a small share of a core some tens of microseconds become half a
-    /// millisecond. Ends that overtake answers are covered as well. The price: the policy handles the other inputs of a
-    /// batch as late as the batch takes to be received.
+    /// Why: an answer that waited until the policy had processed this event (sizing, promotions) and the events before
+    /// it could reach a viewer who has just left: with a small share of a CPU, some tens of microseconds become half a
+    /// millisecond. The same holds for ends of sessions. The price: the policy handles no input of a batch before the
+    /// whole batch was received.
     pub fn handle_input(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
         self.now = now;
         self.dispatch(input, out);
--- a/crates/front/src/core/invariants.rs
+++ b/crates/front/src/core/invariants.rs
@@ -7,7 +7,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum InvariantViolation {
     /// The count of waiting requests differs from the requests that wait.
-    #[error("count of waiting requests")]
+    #[error("{count} requests are counted as waiting, but {requests} wait")]
     WaitingCount {
         /// The count that the core keeps.
         count: usize,
@@ -15,7 +15,7 @@
         requests: usize,
     },
     /// The count of playing sessions differs from the sessions that play.
-    #[error("count of playing sessions")]
+    #[error("{count} sessions are counted as playing, but {sessions} play")]
     PlayingCount {
         /// The count that the core keeps.
         count: usize,
@@ -23,19 +23,19 @@
         sessions: usize,
     },
     /// A request waits without an outstanding attempt.
-    #[error("request {}: Waiting with attempt None", .0 .0)]
+    #[error("request {} waits without an outstanding attempt", .0 .0)]
     WaitingWithoutAttempt(RequestId),
     /// A request has ended, but a call waits for its answer or a player is attached to it.
-    #[error("request {}: past and owed", .0 .0)]
+    #[error("request {} has ended, but a call or a player is attached to it", .0 .0)]
     EndedButAttached(RequestId),
     /// The attempt of a request does not lead back to it.
-    #[error("request {}: its attempt is not known", .0 .0)]
+    #[error("the attempt of request {} does not lead back to it", .0 .0)]
     UnknownAttempt(RequestId),
     /// A request is not among those of its player.
-    #[error("request {}: not with its player", .0 .0)]
+    #[error("request {} is not among those of its player", .0 .0)]
     NotWithPlayer(RequestId),
     /// There are attempts that belong to no request that waits or plays.
-    #[error("attempts that belong to nothing")]
+    #[error("{attempts} attempts are outstanding, but {requests} requests wait or play")]
     OrphanedAttempts {
         /// The outstanding attempts.
         attempts: usize,
@@ -43,7 +43,7 @@
         requests: usize,
     },
     /// Players count more waiting requests than there are.
-    #[error("players wait for more than there is")]
+    #[error("players count {of_players} waiting requests, but {waiting} wait")]
     PlayersWaitingCount {
         /// The sum of the players' counts.
         of_players: usize,
@@ -51,7 +51,7 @@
         waiting: usize,
     },
     /// There are more keys than requests.
-    #[error("keys of forgotten requests")]
+    #[error("{keys} keys are known, but only {requests} requests")]
     OrphanedKeys {
         /// The known keys.
         keys: usize,
--- a/crates/front/src/core/mod.rs
+++ b/crates/front/src/core/mod.rs
@@ -1,4 +1,4 @@
-//! The state machine of a front: its state, how it is driven, and its public face.
+//! The state machine of a front: its state, its public interface and how it is driven.
 //!
 //! [`dispatch`] hands inputs to their handlers: [`open`] (new requests), [`requests`] (resume, close, adopt), [`players`]
 //! (disconnects), [`attempts`] and [`sessions`] (messages of servers), [`startup_recovery`] and [`recovered_keys`] (after
@@ -31,7 +31,7 @@
 use crate::recovery_queue::RecoveryQueue;
 use crate::timers::{TimerEntry, Timers};
 use crankpaddle::{
-    Action, Event, Idempotency, PlacementPolicy, RequestId, ServerEstimate, Settings, Time,
+    Action, Class, Event, Idempotency, PlacementPolicy, RequestId, ServerEstimate, Settings, Time,
 };
 use crankpaddle_recovery::{ConservativeBound, StagedRecovery};
 use request::{Player, Request, SessionKey};
@@ -216,12 +216,14 @@
         self.events.push_back(event);
     }
 
+    /// The settings of a class; `None` if it is not configured.
+    fn class_settings(&self, class: u8) -> Option<&Class> {
+        self.settings.classes.get(usize::from(class))
+    }
+
     /// Idempotency of a class; `None` if the class is not configured.
     fn idempotency(&self, class: u8) -> Option<Idempotency> {
-        self.settings
-            .classes
-            .get(usize::from(class))
-            .map(|class| class.idempotency)
+        self.class_settings(class).map(|class| class.idempotency)
     }
 
     /// Whether a second set-up of the class is a second bill.
--- a/crates/front/src/core/open.rs
+++ b/crates/front/src/core/open.rs
@@ -1,4 +1,4 @@
-//! New requests for sessions: what a known key amounts to, load shedding, and the answer's deadline.
+//! New requests for sessions: keys that are already known, load shedding, and the answer's deadline.
 use super::request::{Request, SessionKey};
 use super::startup_recovery::RecoveryDecision;
 use super::Core;
@@ -21,7 +21,7 @@
     pub(super) deadline: Time,
 }
 
-/// How a new request came about.
+/// Whether a new request follows an earlier one of its viewer.
 struct RequestOrigin {
     is_retry: bool,
     is_migration: bool,
@@ -63,7 +63,7 @@
         self.start_request(opening, origin);
     }
 
-    /// Resolves the key of an open. `None`: it is answered, or waits with the request that its key names.
+    /// Resolves the key of an open. `None`: it was answered, or it joined the request that has its key.
     fn resolve_key(&mut self, opening: &OpenCall, out: &mut Vec<Output>) -> Option<RequestOrigin> {
         let open = &opening.open;
         let first = RequestOrigin {
@@ -87,8 +87,8 @@
                 return None;
             }
             ReopenDecision::KeySpent => {
-                // Why no rejection: it states that nothing ran, and this ran. A player whose server was lost while it
-                // reconnected would learn that it may retry what it has paid.
+                // Why it is not rejected: a rejection states that nothing ran, but this session ran. A player that
+                // reconnects after its server was lost would conclude that it may retry a paid request.
                 let answer = Answer::Failed(FailureReason::KeySpent);
                 out.push(Output::Answer(opening.call, answer));
                 return None;
--- a/crates/front/src/core/players.rs
+++ b/crates/front/src/core/players.rs
@@ -19,7 +19,7 @@
         }
     }
 
-    /// A player's connection is closed: its requests go on for the resume window.
+    /// A player's connection is closed: its requests continue until the resume window is over.
     pub(super) fn player_disconnected(&mut self, player: PlayerId) {
         self.recovery_queue.remove_player(player);
         let Some(disconnected) = self.players.remove(&player) else {
@@ -41,7 +41,7 @@
         }
     }
 
-    /// The time to reattach after a player's disconnect is over.
+    /// Ends a request if its player did not reattach within the resume window.
     pub(super) fn resume_window_over(
         &mut self,
         id: RequestId,
@@ -56,7 +56,7 @@
         }
     }
 
-    /// The viewer of this request is gone: withdraws what waits and ends what plays.
+    /// Ends a request whose viewer has left: cancels its attempt if it waits, tears its session down if it plays.
     fn withdraw(&mut self, id: RequestId, out: &mut Vec<Output>) {
         let Some(request) = self.requests.get(&id) else {
             return;
@@ -99,7 +99,7 @@
         attached.waiting += usize::from(is_waiting);
     }
 
-    /// Removes a request from its player's; `was_waiting`: it counted among those that wait.
+    /// Removes a request from those of its player; `was_waiting`: the player counted it as waiting.
     pub(super) fn detach(&mut self, id: RequestId, player: Option<PlayerId>, was_waiting: bool) {
         let Some(player_id) = player else {
             return;
--- a/crates/front/src/core/recovered_keys.rs
+++ b/crates/front/src/core/recovered_keys.rs
@@ -26,7 +26,7 @@
         let known = self.keys.get(&key).copied();
         match (outcome, known) {
             (Some(outcome), None) => self.retain_recovered(key, class, outcome),
-            // Only an ended request is removed: what this incarnation has begun under the key since is its own.
+            // A request that this incarnation has started under the key since has not ended, and stays.
             (None, Some(id)) => self.remove_ended(id),
             (Some(_), Some(_)) | (None, None) => {}
         }
--- a/crates/front/src/core/requests.rs
+++ b/crates/front/src/core/requests.rs
@@ -105,8 +105,10 @@
         });
     }
 
-    /// Tracks a session that already plays at a server. `None`: its key is known. Why: the same session may be reported twice,
-    /// or one that this front set up itself is reported; a second one under its key would be ended twice and counted twice.
+    /// Tracks a session that already plays at a server. `None`: its key is known already.
+    ///
+    /// Why: a session may be reported twice, and so may one that this front set up itself. Tracked a second time, it would
+    /// be counted and ended twice.
     pub(super) fn track_established(
         &mut self,
         open: OpenRequest,
@@ -127,7 +129,9 @@
         let session = open.session_request(id, viewer_deadline);
         let mut request = Request::new(session.clone(), open.key, None, viewer_deadline);
         request.phase = RequestPhase::Playing(attempt);
-        request.rung = self.min_rung(session.class);
+        request.rung = self
+            .class_settings(session.class)
+            .map_or(0, |class| class.min_rung);
         request.attempt_count = 1;
         request.may_have_run = true;
         self.keys.insert(key, id);
@@ -140,11 +144,4 @@
             attempt: attempt.id,
         })
     }
-
-    fn min_rung(&self, class: u8) -> u8 {
-        self.settings
-            .classes
-            .get(usize::from(class))
-            .map_or(0, |class| class.min_rung)
-    }
 }
--- a/crates/front/src/core/sessions.rs
+++ b/crates/front/src/core/sessions.rs
@@ -18,8 +18,8 @@
         };
         match request.phase {
             RequestPhase::Waiting(_) => {
-                // Why: a server may report its link's load right before its answer. If that update were dropped, the one
-                // fresh figure that each set-up brings would be lost, and the load of links be estimated wrongly.
+                // Why: a server may report the load of its link right before its answer. If that update were dropped, the
+                // measurement that comes with each set-up would be lost, and the load of links be estimated wrongly.
                 if request.early_updates.len() < MAX_EARLY_UPDATES {
                     request.early_updates.push(update);
                 }
@@ -52,7 +52,7 @@
         let end = SessionEnd { outcome, report };
         if request.is_waiting() {
             // Why: the answer and the end come over two connections, or together. If an end that overtakes its answer
-            // were dropped, the session would play for ever.
+            // were dropped, the session would count as playing for ever.
             request.early_end = Some(end);
             return;
         }
--- a/crates/front/src/core/shutdown.rs
+++ b/crates/front/src/core/shutdown.rs
@@ -1,4 +1,4 @@
-//! The end of the front.
+//! Shutdown of the front.
 use super::request::{OutstandingAttempt, RequestPhase};
 use super::Core;
 use crate::jitter::jitter;
--- a/crates/front/src/core/startup_recovery.rs
+++ b/crates/front/src/core/startup_recovery.rs
@@ -11,7 +11,7 @@
 use crankpaddle_recovery::{Admission, ConservativeBound, RecoveryStage, StagedRecovery};
 use std::time::Duration;
 
-/// What becomes of an open while the front recovers.
+/// How an open is handled while the front recovers.
 pub(super) enum RecoveryDecision {
     /// It is served as usual.
     Serve,
--- a/crates/front/src/input.rs
+++ b/crates/front/src/input.rs
@@ -12,7 +12,7 @@
 pub struct OpenRequest {
     /// Idempotency key chosen by the player, the same over its reconnects: it names one session.
     pub key: String,
-    /// The viewer; the same when he requests another session.
+    /// Identifies the viewer; the same in all requests of one viewer.
     pub viewer: u64,
     /// Class, an index into the settings' classes.
     pub class: u8,
--- a/crates/front/src/jitter.rs
+++ b/crates/front/src/jitter.rs
@@ -1,4 +1,4 @@
-//! A reproducible stand-in for a random draw.
+//! Reproducible pseudo-random numbers.
 
 /// A number in 0..1 derived from `seed` (splitmix64). It spreads the Retry-After of clients that are rejected together, and
 /// serves as a random source that repeats exactly in each run.
--- a/crates/front/src/keys.rs
+++ b/crates/front/src/keys.rs
@@ -1,9 +1,9 @@
 //! The meaning of an idempotency key that a player sends again.
 //!
-//! A key names one session: a player that lost its connection sends it again and must find its pending request, its
-//! session or the earlier answer, never start a second set-up. Why: for a paid class a second set-up is a second bill.
-//! The price: a player that uses one key for everything cannot buy again until the key's retention is over; the
-//! answer states so.
+//! A key names one session: a player that lost its connection sends the key again and gets its pending request, its
+//! session or the earlier answer, but never a second set-up. Why: for a paid class a second set-up is a second bill.
+//! The price: a player that uses one key for all sessions cannot buy another one until the key's retention is over;
+//! the answer states this.
 use crankpaddle::{AttemptOutcome, Idempotency};
 
 /// How a request ended.
@@ -21,7 +21,7 @@
 
 /// The state of the request that a key names.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum KeyState {
+pub(crate) enum KeyState {
     /// It has no answer yet.
     Waiting,
     /// Its session plays.
--- a/crates/front/src/keys/tests.rs
+++ b/crates/front/src/keys/tests.rs
@@ -1,4 +1,4 @@
-//! What another open with a known key amounts to.
+//! How another open with a known key is handled.
 use super::*;
 
 #[test]
--- a/crates/front/src/output.rs
+++ b/crates/front/src/output.rs
@@ -4,7 +4,7 @@
 use crankpaddle_recovery::{RecoveryStage, StageEvidence};
 use std::time::Duration;
 
-/// Why a request was rejected: no attempt of it ran, it may be sent again to any front.
+/// Why a request was rejected. No attempt of it ran, so it may be sent again to any front.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RejectReason {
     /// No server that holds the title has capacity or may be used now.
@@ -111,7 +111,7 @@
     pub rung: u8,
 }
 
-/// An action that the driver of a core carries out; outputs are carried out in order.
+/// An action for the driver of a core, which carries the outputs out in their order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
     /// Answer a call; its only answer.
