Front: enums for the send state of an attempt and the rate cap of a session

The two inputs carried a bool with a name beside it, and their named fields made the dispatch of inputs longer than a screen. Input::SendStateChanged takes a SendState (Deferred, Sent) and Input::RateCapChanged a RateCap (None, LowestRung); an outstanding attempt holds its SendState. The daemon's log line keeps its field is_capped. The tests pass the same states as before.

--- a/crates/daemon/src/event_loop/durable_setup.rs
+++ b/crates/daemon/src/event_loop/durable_setup.rs
@@ -4,7 +4,7 @@
 use crate::config_lookup::{is_paid_class, name_at};
 use crate::message::Message;
 use crankpaddle_front::{
-    AttemptId, AttemptOutcome, Input, RecoveryStage, ServerId, SetUpOrder, SetUpResult,
+    AttemptId, AttemptOutcome, Input, RecoveryStage, SendState, ServerId, SetUpOrder, SetUpResult,
 };
 use crankpaddle_recovery::intents::AttemptResult;
 use crankpaddle_recovery::{Key, Reconciliation, StoreWrite};
@@ -35,10 +35,7 @@
                 is_durable: false,
             });
         }
-        self.handle_core_input(Input::SendDeferralChanged {
-            attempt,
-            is_deferred: true,
-        });
+        self.handle_core_input(Input::SendStateChanged(attempt, SendState::Deferred));
     }
 
     /// Queues the write of an intent; false where nothing can be written.
@@ -89,10 +86,7 @@
             return; // The attempt was abandoned meanwhile.
         };
         if is_durable {
-            self.handle_core_input(Input::SendDeferralChanged {
-                attempt,
-                is_deferred: false,
-            });
+            self.handle_core_input(Input::SendStateChanged(attempt, SendState::Sent));
             attempt_sender::send(self.shared.clone(), attempt, request);
         } else {
             // Why it is never sent: a power loss would erase all knowledge of it, and it would be sold again.
--- a/crates/daemon/src/event_loop/maintenance.rs
+++ b/crates/daemon/src/event_loop/maintenance.rs
@@ -1,6 +1,6 @@
 //! Periodic upkeep: links, the connection pool, budgets, the traffic account and the store.
 use super::EventLoop;
-use crankpaddle_front::{AttemptId, Input};
+use crankpaddle_front::{AttemptId, Input, RateCap};
 use crankpaddle_net::clock;
 
 impl EventLoop {
@@ -21,21 +21,19 @@
     /// servers must report.
     fn enforce_budgets(&mut self, now: u64) {
         let changes = self.traffic.controller.tick(now);
-        self.cap_rates(&changes.cap, true);
-        self.cap_rates(&changes.uncap, false);
+        self.cap_rates(&changes.cap, RateCap::LowestRung);
+        self.cap_rates(&changes.uncap, RateCap::None);
         self.apply_cross_zone_policy();
         self.update_report_subscriptions(now);
         self.traffic.start_settlement();
         self.save_traffic_account();
     }
 
-    fn cap_rates(&mut self, sessions: &[u64], is_capped: bool) {
+    fn cap_rates(&mut self, sessions: &[u64], cap: RateCap) {
+        let is_capped = cap == RateCap::LowestRung;
         for session in sessions {
             tracing::info!(attempt_id = session, is_capped, "rate cap changed");
-            self.handle_core_input(Input::RateCapChanged {
-                attempt: AttemptId(*session),
-                is_capped,
-            });
+            self.handle_core_input(Input::RateCapChanged(AttemptId(*session), cap));
         }
     }
 
--- a/crates/front/src/core/attempts.rs
+++ b/crates/front/src/core/attempts.rs
@@ -2,7 +2,7 @@
 use super::request::{OutstandingAttempt, Request, RequestPhase, SessionEnd};
 use super::Core;
 use crate::ids::{AttemptId, PlayerId};
-use crate::input::SetUpResult;
+use crate::input::{SendState, SetUpResult};
 use crate::keys::{self, RequestOutcome};
 use crate::output::{Answer, FailureReason, Output};
 use crankpaddle::{AttemptOutcome, Event, LoadField, LoadReport, RequestId, SessionUpdate};
@@ -118,13 +118,13 @@
         }
     }
 
-    /// Records whether an attempt is deferred, which decides what its time-out means.
-    pub(super) fn send_deferral_changed(&mut self, attempt: AttemptId, is_deferred: bool) {
+    /// Records whether an attempt was sent, which decides what its time-out means.
+    pub(super) fn send_state_changed(&mut self, attempt: AttemptId, state: SendState) {
         let Some((_, request)) = self.request_of(attempt) else {
             return;
         };
         if let RequestPhase::Waiting(Some(outstanding)) = &mut request.phase {
-            outstanding.is_deferred = is_deferred;
+            outstanding.send_state = state;
         }
     }
 
@@ -138,10 +138,9 @@
         };
         // Why: an attempt that a slow disk defers was not sent. Reported as one that may have run, it would make a paid
         // request fail.
-        let outcome = if outstanding.is_deferred {
-            AttemptOutcome::NotSent
-        } else {
-            AttemptOutcome::Timeout
+        let outcome = match outstanding.send_state {
+            SendState::Deferred => AttemptOutcome::NotSent,
+            SendState::Sent => AttemptOutcome::Timeout,
         };
         out.push(Output::AbandonAttempt(attempt, outstanding.server));
         self.attempt_failed(attempt, outcome, LoadReport::new());
--- a/crates/front/src/core/dispatch.rs
+++ b/crates/front/src/core/dispatch.rs
@@ -37,10 +37,7 @@
             Input::PlayerDisconnected(player) => self.player_disconnected(player),
             Input::EndpointList(kind, list) => self.emit(Event::EndpointList(kind, list)),
             Input::SetUpCompleted(id, result) => self.set_up_completed(id, result, out),
-            Input::SendDeferralChanged {
-                attempt,
-                is_deferred,
-            } => self.send_deferral_changed(attempt, is_deferred),
+            Input::SendStateChanged(id, state) => self.send_state_changed(id, state),
             Input::SessionUpdated(id, update) => self.session_updated(id, update),
             Input::SessionEnded(id, outcome, report) => self.end_session(id, outcome, report, out),
             Input::CrossZonePolicyChanged {
@@ -48,9 +45,7 @@
                 class,
                 policy,
             } => self.cross_zone_policy_changed(zone, class, policy),
-            Input::RateCapChanged { attempt, is_capped } => {
-                self.rate_cap_changed(attempt, is_capped);
-            }
+            Input::RateCapChanged(id, cap) => self.rate_cap_changed(id, cap),
             Input::HealthCheckCompleted(server, outcome, report) => {
                 self.health_check_completed(server, outcome, report);
             }
--- a/crates/front/src/core/request.rs
+++ b/crates/front/src/core/request.rs
@@ -1,6 +1,6 @@
 //! The state of one request for a session, and of one player.
 use crate::ids::{AttemptId, Call, PlayerId};
-use crate::input::OpenRequest;
+use crate::input::{OpenRequest, SendState};
 use crate::keys::{KeyState, RequestOutcome};
 use crate::output::FailureReason;
 use crankpaddle::{
@@ -31,8 +31,7 @@
     pub(super) id: AttemptId,
     pub(super) server: ServerId,
     pub(super) started_at: Time,
-    /// The front itself defers sending it, so it has not left.
-    pub(super) is_deferred: bool,
+    pub(super) send_state: SendState,
 }
 
 /// The phase of a request, with the attempt that belongs to it.
--- a/crates/front/src/core/requests.rs
+++ b/crates/front/src/core/requests.rs
@@ -2,7 +2,7 @@
 use super::request::{OutstandingAttempt, Request, RequestPhase, SessionKey};
 use super::Core;
 use crate::ids::{AttemptId, Call, PlayerId};
-use crate::input::OpenRequest;
+use crate::input::{OpenRequest, SendState};
 use crate::keys::RequestOutcome;
 use crate::output::{Answer, Notification, Output, SessionEndReason};
 use crankpaddle::{AttemptOutcome, Event, RequestId, ServerId};
@@ -123,7 +123,7 @@
             id: self.next_attempt_id(),
             server,
             started_at: self.now,
-            is_deferred: false,
+            send_state: SendState::Sent,
         };
         let viewer_deadline = self.now + open.max_wait;
         let session = open.session_request(id, viewer_deadline);
--- a/crates/front/src/core/sessions.rs
+++ b/crates/front/src/core/sessions.rs
@@ -2,6 +2,7 @@
 use super::request::{RequestPhase, SessionEnd};
 use super::Core;
 use crate::ids::{AttemptId, PlayerId};
+use crate::input::RateCap;
 use crate::jitter::jitter;
 use crate::keys::RequestOutcome;
 use crate::output::{Notification, Output, SessionEndReason};
@@ -86,18 +87,17 @@
         out.push(Output::Notify(player, id, notification));
     }
 
-    /// Limits a playing session to its lowest rung, or lifts that limit.
-    pub(super) fn rate_cap_changed(&mut self, attempt: AttemptId, is_capped: bool) {
+    /// Limits the rungs of a playing session, or lifts that limit.
+    pub(super) fn rate_cap_changed(&mut self, attempt: AttemptId, cap: RateCap) {
         let Some((id, request)) = self.request_of(attempt) else {
             return;
         };
         if request.playing_attempt().is_none() {
             return;
         }
-        let max_rung = if is_capped {
-            0
-        } else {
-            request.session.max_rung
+        let max_rung = match cap {
+            RateCap::LowestRung => 0,
+            RateCap::None => request.session.max_rung,
         };
         self.emit(Event::MaxRungChanged {
             request: id,
--- a/crates/front/src/core/set_up.rs
+++ b/crates/front/src/core/set_up.rs
@@ -2,6 +2,7 @@
 use super::request::{OutstandingAttempt, Request, RequestPhase};
 use super::Core;
 use crate::ids::AttemptId;
+use crate::input::SendState;
 use crate::output::{Output, SetUpOrder};
 use crate::timers::TimerEntry;
 use crankpaddle::{AttemptOutcome, Event, LoadReport, RequestId, ServerId, Time};
@@ -41,7 +42,7 @@
             id,
             server,
             started_at: self.now,
-            is_deferred: false,
+            send_state: SendState::Sent,
         };
         let Some(waiting) = self.requests.get_mut(&request) else {
             return;
--- a/crates/front/src/input.rs
+++ b/crates/front/src/input.rs
@@ -45,6 +45,24 @@
     Ended(AttemptOutcome, LoadReport),
 }
 
+/// Whether the front sends an attempt to its server at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendState {
+    /// Not yet: no server has received it.
+    Deferred,
+    /// It was sent or is about to be, so it may run.
+    Sent,
+}
+
+/// Whether the rungs of a session are limited beyond what its viewer can use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RateCap {
+    /// They are not.
+    None,
+    /// It plays at its lowest rung only.
+    LowestRung,
+}
+
 /// An event that a core handles.
 #[derive(Clone, Debug)]
 pub enum Input {
@@ -93,12 +111,7 @@
     SetUpCompleted(AttemptId, SetUpResult),
     /// The front itself defers sending an attempt, or sends a deferred one now. An attempt without this input is sent at
     /// once.
-    SendDeferralChanged {
-        /// The attempt.
-        attempt: AttemptId,
-        /// Whether it is deferred, so that no server has received it.
-        is_deferred: bool,
-    },
+    SendStateChanged(AttemptId, SendState),
     /// A server reported a change of a playing session.
     SessionUpdated(AttemptId, SessionUpdate),
     /// A playing session ended at its server: `Completed` when it ran to its end, `Reset` when the server was lost.
@@ -113,12 +126,7 @@
         policy: CrossZonePolicy,
     },
     /// The rate cap of a playing session was set or lifted.
-    RateCapChanged {
-        /// The attempt that established the session.
-        attempt: AttemptId,
-        /// Whether it is limited to its lowest rung; otherwise it may use all rungs that its viewer can use.
-        is_capped: bool,
-    },
+    RateCapChanged(AttemptId, RateCap),
     /// A health check has a result.
     HealthCheckCompleted(ServerId, AttemptOutcome, LoadReport),
     /// Number of known fronts in the fleet, including this one and those that may only be unreachable.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -36,7 +36,7 @@
     ConservativeBound, PreviousShutdown, RecoveryStage, StageEvidence, StagedRecovery,
 };
 pub use ids::{AttemptId, Call, PlayerId};
-pub use input::{Input, OpenRequest, SetUpResult};
+pub use input::{Input, OpenRequest, RateCap, SendState, SetUpResult};
 pub use jitter::jitter;
 pub use output::{
     Answer, FailureReason, Notification, Output, RejectReason, SessionEndReason, SetUpOrder,
--- a/crates/front/tests/drive/harness.rs
+++ b/crates/front/tests/drive/harness.rs
@@ -106,11 +106,6 @@
         ))
     }
 
-    /// Sets or lifts the rate cap of a session.
-    pub(crate) fn cap_rate(&mut self, attempt: AttemptId, is_capped: bool) -> Vec<Output> {
-        self.handle(Input::RateCapChanged { attempt, is_capped })
-    }
-
     /// Advances the clock by `time` nanoseconds, handling each timer when it expires.
     pub(crate) fn advance(&mut self, time: u64) -> Vec<Output> {
         let until = Time(self.now.0 + time);
--- a/crates/front/tests/drive/sessions.rs
+++ b/crates/front/tests/drive/sessions.rs
@@ -29,11 +29,13 @@
     let (_, outputs) = harness.open(1, "a", FREE);
     let (attempt, server) = set_up(&outputs).unwrap();
     assert!(
-        harness.cap_rate(attempt, true).is_empty(),
+        harness
+            .handle(Input::RateCapChanged(attempt, RateCap::LowestRung))
+            .is_empty(),
         "a session that does not play yet is not demoted"
     );
     harness.start(attempt);
-    let demoted = harness.cap_rate(attempt, true);
+    let demoted = harness.handle(Input::RateCapChanged(attempt, RateCap::LowestRung));
     assert!(
         demoted.contains(&Output::SetRung(attempt, server, 0)),
         "{demoted:?}"
@@ -45,7 +47,7 @@
             .all(|output| !matches!(output, Output::SetRung(..))),
         "and stays there"
     );
-    let mut after = harness.cap_rate(attempt, false);
+    let mut after = harness.handle(Input::RateCapChanged(attempt, RateCap::None));
     after.extend(harness.advance(90 * SECOND));
     assert!(after
         .iter()
--- a/crates/front/tests/startup_recovery.rs
+++ b/crates/front/tests/startup_recovery.rs
@@ -406,7 +406,8 @@
 
 #[test]
 fn an_attempt_deferred_by_a_slow_disk_was_not_sent_and_is_no_failure() {
-    for is_deferred in [true, false] {
+    for state in [SendState::Deferred, SendState::Sent] {
+        let is_deferred = state == SendState::Deferred;
         let mut harness = harness(PreviousShutdown::Clean, 0);
         harness.list_endpoints();
         let (call, outputs) = harness.open("a", PAID);
@@ -420,10 +421,7 @@
         let mut attempt = outputs.iter().find_map(started).unwrap();
         let mut outputs_since = Vec::new();
         while harness.core.waiting() > 0 {
-            harness.handle(Input::SendDeferralChanged {
-                attempt,
-                is_deferred,
-            });
+            harness.handle(Input::SendStateChanged(attempt, state));
             let outputs = harness.advance(100 * MS);
             attempt = outputs.iter().find_map(started).unwrap_or(attempt);
             outputs_since.extend(outputs);
