Front: long assertions of the tests split, comments wrapped at 120 columns

Three assertions were lines that rustfmt leaves alone; they are matches with named parts now and check the same values: call, reason and a Retry-After above zero. The reason for the bounds of the replica count is stated in plain sentences.

--- a/crates/front/src/core/attempts.rs
+++ b/crates/front/src/core/attempts.rs
@@ -159,8 +159,8 @@
         self.fail_if_unanswered(id, out);
     }
 
-    /// Fails a request that waits without an outstanding attempt, since nothing else would answer it. The policy decides on
-    /// each request at once; this is a safeguard should it ever not.
+    /// Fails a request that waits without an outstanding attempt, since nothing else would answer it. The policy
+    /// decides on each request at once; this is a safeguard should it ever not.
     pub(super) fn fail_if_unanswered(&mut self, id: RequestId, out: &mut Vec<Output>) {
         let Some(request) = self.requests.get(&id) else {
             return;
@@ -226,8 +226,8 @@
 
 /// The answer to a set-up that started: `established`, unless the session was cut before its answer was handled.
 ///
-/// Why: a session that was cut does not play, and its viewer would wait for it for ever. It is not rejected, since it ran.
-/// A session that already ran to its end is answered as established.
+/// Why: a session that was cut does not play, and its viewer would wait for it for ever. It is not rejected, since it
+/// ran. A session that already ran to its end is answered as established.
 fn answer_to_set_up(established: Answer, early_end: Option<&SessionEnd>) -> Answer {
     if early_end.is_some_and(SessionEnd::was_cut) {
         Answer::Failed(FailureReason::ConnectionLost)
--- a/crates/front/src/core/mod.rs
+++ b/crates/front/src/core/mod.rs
@@ -1,9 +1,10 @@
 //! The state machine of a front: its state, its public interface and how it is driven.
 //!
-//! [`dispatch`] hands inputs to their handlers: [`open`] (new requests), [`requests`] (resume, close, adopt), [`players`]
-//! (disconnects), [`attempts`] and [`sessions`] (messages of servers), [`startup_recovery`] and [`recovered_keys`] (after
-//! a power loss), [`shutdown`]. They queue events for the placement policy; [`actions`] runs the policy and carries its
-//! actions out, [`set_up`] starts attempts. [`completion`] ends requests, [`key_retention`] keeps their keys for a while.
+//! [`dispatch`] hands inputs to their handlers: [`open`] (new requests), [`requests`] (resume, close, adopt),
+//! [`players`] (disconnects), [`attempts`] and [`sessions`] (messages of servers), [`startup_recovery`] and
+//! [`recovered_keys`] (after a power loss), [`shutdown`]. They queue events for the placement policy; [`actions`] runs
+//! the policy and carries its actions out, [`set_up`] starts attempts. [`completion`] ends requests, [`key_retention`]
+//! keeps their keys for a while.
 mod actions;
 mod attempts;
 mod completion;
@@ -170,8 +171,8 @@
         self.timers.next_expiry()
     }
 
-    /// Handles all timers that have expired at `now`. Why the caller reads its sockets first: after a stall, answers that
-    /// came in time are still unread and must be handled before the timers.
+    /// Handles all timers that have expired at `now`. Why the caller reads its sockets first: after a stall, answers
+    /// that came in time are still unread and must be handled before the timers.
     pub fn expire(&mut self, now: Time, out: &mut Vec<Output>) {
         self.decide(now, out);
         while let Some(entry) = self.timers.pop_expired(now) {
--- a/crates/front/src/core/requests.rs
+++ b/crates/front/src/core/requests.rs
@@ -107,8 +107,8 @@
 
     /// Tracks a session that already plays at a server. `None`: its key is known already.
     ///
-    /// Why: a session may be reported twice, and so may one that this front set up itself. Tracked a second time, it would
-    /// be counted and ended twice.
+    /// Why: a session may be reported twice, and so may one that this front set up itself. Tracked a second time, it
+    /// would be counted and ended twice.
     pub(super) fn track_established(
         &mut self,
         open: OpenRequest,
--- a/crates/front/src/core/sessions.rs
+++ b/crates/front/src/core/sessions.rs
@@ -19,8 +19,9 @@
         };
         match request.phase {
             RequestPhase::Waiting(_) => {
-                // Why: a server may report the load of its link right before its answer. If that update were dropped, the
-                // measurement that comes with each set-up would be lost, and the load of links be estimated wrongly.
+                // Why: a server may report the load of its link right before its answer. If that update were dropped,
+                // the measurement that comes with each set-up would be lost, and the load of links be estimated
+                // wrongly.
                 if request.early_updates.len() < MAX_EARLY_UPDATES {
                     request.early_updates.push(update);
                 }
--- a/crates/front/src/core/set_up.rs
+++ b/crates/front/src/core/set_up.rs
@@ -77,8 +77,8 @@
             && self.now < request.session.deadline
     }
 
-    /// Reports to the policy that its attempt was not sent, so that it does not count it as outstanding for ever. This also
-    /// happens where the viewer left between an input and the decision on it.
+    /// Reports to the policy that its attempt was not sent, so that it does not count it as outstanding for ever. This
+    /// also happens where the viewer left between an input and the decision on it.
     fn report_not_sent(&mut self, id: RequestId, server: ServerId) {
         let request = self.requests.get(&id);
         self.emit(Event::AttemptEnded {
--- a/crates/front/src/core/startup_recovery.rs
+++ b/crates/front/src/core/startup_recovery.rs
@@ -22,8 +22,8 @@
 }
 
 impl Core {
-    /// Starts with a staged recovery; to be called before the first input. `intents_complete`: all paid set-ups that may have
-    /// left were persisted; `previous_fronts`: how many fronts there were.
+    /// Starts with a staged recovery; to be called before the first input. `intents_complete`: all paid set-ups that
+    /// may have left were persisted; `previous_fronts`: how many fronts there were.
     pub fn begin_recovery(
         &mut self,
         staged_recovery: StagedRecovery,
@@ -73,11 +73,13 @@
 
     /// Computes the number of fronts that the policy divides the limits by.
     ///
-    /// Why it only makes this front more careful: a fleet that grew beyond its configuration exceeds each limit that is divided
-    /// into quotas, first the rate of set-ups at servers in slow start; and after a power loss forty fronts come back as
-    /// eleven that know of each other, while the others follow one by one. So peers and persisted state never make the
-    /// count smaller than configured, nor, until servers had time to warm up, smaller than before the loss. The price: a
-    /// peer that reports a wrong count makes this front reject more and attempt less.
+    /// Peers and persisted state only ever increase it: it is never smaller than configured nor, until servers had time
+    /// to warm up, smaller than before the power loss.
+    ///
+    /// Why: a fleet that has grown beyond its configuration exceeds each limit that is divided into quotas, first the
+    /// rate of set-ups at servers in slow start. And after a power loss, forty fronts come back as eleven that know of
+    /// each other, while the others follow one by one. The price: a peer that reports a wrong count makes this front
+    /// reject more and attempt less.
     fn update_replica_count(&mut self) {
         let known = self.known_fronts.max(self.settings.replica_count);
         let replica_count = if self.stage() < RecoveryStage::Normal {
@@ -165,9 +167,9 @@
         RecoveryDecision::Queued
     }
 
-    /// The answer to a request that could not be served in time. Why not always a rejection: it states that nothing ran, and
-    /// a previous incarnation may have run this key. The price: where the disk was lost, a new paid request is answered as
-    /// failed.
+    /// The answer to a request that could not be served in time. Why not always a rejection: it states that nothing
+    /// ran, and a previous incarnation may have run this key. The price: where the disk was lost, a new paid request is
+    /// answered as failed.
     fn not_served(&self, open: &OpenRequest, retry_after: Option<Duration>) -> Answer {
         let is_known =
             self.intents_complete && !self.unresolved_keys.contains(&SessionKey::from(open));
--- a/crates/front/src/input.rs
+++ b/crates/front/src/input.rs
@@ -109,8 +109,8 @@
     EndpointList(EndpointListKind, Vec<Endpoint>),
     /// A set-up has a result.
     SetUpCompleted(AttemptId, SetUpResult),
-    /// The front itself defers sending an attempt, or sends a deferred one now. An attempt without this input is sent at
-    /// once.
+    /// The front itself defers sending an attempt, or sends a deferred one now. An attempt without this input is sent
+    /// at once.
     SendStateChanged(AttemptId, SendState),
     /// A server reported a change of a playing session.
     SessionUpdated(AttemptId, SessionUpdate),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -2,8 +2,9 @@
 //!
 //! [`Core`] gives each request exactly one answer before its viewer gives up. It hosts the placement policy
 //! ([`crankpaddle::PlacementPolicy`]), which chooses servers and rungs; the core owns what the policy does not treat:
-//! answer deadlines, attempts and their time-outs, players that disconnect and reattach, idempotency keys, load shedding
-//! of the front itself and its shutdown. It knows no protocol: the daemon and the front node drive the same core.
+//! answer deadlines, attempts and their time-outs, players that disconnect and reattach, idempotency keys, load
+//! shedding of the front itself and its shutdown. It knows no protocol: the daemon and the front node drive the same
+//! core.
 //!
 //! To drive it, as any state machine without I/O:
 //!
@@ -11,9 +12,9 @@
 //! - carry out the [`Output`]s that each call adds, in order;
 //! - time is [`Time`], nanoseconds of a monotonic clock; the same inputs give the same outputs.
 //!
-//! Modules: `core` is the state machine, [`keys`] defines what a repeated idempotency key means, `overload` decides when
-//! the front itself sheds load, `recovery_queue` holds the requests that wait for reconciliation, `timers` orders the
-//! expiries, `log_text` formats answers and notifications for log lines.
+//! Modules: `core` is the state machine, [`keys`] defines what a repeated idempotency key means, `overload` decides
+//! when the front itself sheds load, `recovery_queue` holds the requests that wait for reconciliation, `timers` orders
+//! the expiries, `log_text` formats answers and notifications for log lines.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 mod core;
--- a/crates/front/src/overload.rs
+++ b/crates/front/src/overload.rs
@@ -1,11 +1,11 @@
 //! Load shedding of the front itself: when more requests wait than it can answer in time.
 //!
-//! The placement policy knows whether servers have capacity; it does not know that this process falls behind. Two signals
-//! are watched. The number of pending requests, in all and for each player, is bounded by the settings. The time that a
-//! message waited between socket and core is judged as CoDel judges a queue (RFC 8289): a burst that drains is
-//! harmless, so the front sheds load only when the *least* wait seen within an interval stays over the target, until one
-//! message passes quickly. Why: a front that admits everything answers everything late, and viewers who gave up retry.
-//! The price: for one interval after a stall it rejects requests that it could have served.
+//! The placement policy knows whether servers have capacity; it does not know that this process falls behind. Two
+//! signals are watched. The number of pending requests, in all and for each player, is bounded by the settings. The
+//! time that a message waited between socket and core is judged as CoDel judges a queue (RFC 8289): a burst that drains
+//! is harmless, so the front sheds load only when the *least* wait seen within an interval stays over the target, until
+//! one message passes quickly. Why: a front that admits everything answers everything late, and viewers who gave up
+//! retry. The price: for one interval after a stall it rejects requests that it could have served.
 use crankpaddle::Time;
 use crankpaddle_time::nanoseconds;
 use std::time::Duration;
@@ -66,8 +66,8 @@
         }
     }
 
-    /// Decides on a request that was read at `received_at`, with `pending` requests in all and `pending_of_player` of its
-    /// own connection.
+    /// Decides on a request that was read at `received_at`, with `pending` requests in all and `pending_of_player` of
+    /// its own connection.
     pub(crate) fn admit(
         &mut self,
         now: Time,
--- a/crates/front/tests/drive/sessions.rs
+++ b/crates/front/tests/drive/sessions.rs
@@ -12,7 +12,17 @@
     let (attempt, _) = set_up(&outputs).unwrap();
     harness.start(attempt);
     let outputs = harness.handle(Input::SessionEnded(attempt, AttemptOutcome::Reset, vec![]));
-    let is_lost = |output: &Output| matches!(output, Output::Notify(PlayerId(1), _, Notification::SessionEnded { reason: SessionEndReason::ServerLost, retry_after }) if *retry_after > Some(Duration::ZERO));
+    let is_lost = |output: &Output| match output {
+        Output::Notify(
+            PlayerId(1),
+            _,
+            Notification::SessionEnded {
+                reason,
+                retry_after,
+            },
+        ) => *reason == SessionEndReason::ServerLost && *retry_after > Some(Duration::ZERO),
+        _ => false,
+    };
     assert!(outputs.iter().any(is_lost));
     let (call, outputs) = harness.open(1, "a", PAID);
     assert_eq!(
@@ -150,9 +160,18 @@
     let (attempt, server) = set_up(&outputs).unwrap();
     harness.handle(Input::Drain);
     let (call, outputs) = harness.open(2, "b", FREE);
-    assert!(
-        matches!(answers(&outputs)[..], [(c, Answer::Rejected { reason: RejectReason::ShuttingDown, retry_after })] if c == call && retry_after > Some(Duration::ZERO))
-    );
+    let [(
+        answered,
+        Answer::Rejected {
+            reason,
+            retry_after,
+        },
+    )] = answers(&outputs)[..]
+    else {
+        panic!("{outputs:?}")
+    };
+    assert_eq!((answered, reason), (call, RejectReason::ShuttingDown));
+    assert!(retry_after > Some(Duration::ZERO));
     assert_eq!(answers(&harness.start(attempt)).len(), 1);
     let outputs = harness.handle(Input::Stop);
     assert!(outputs.contains(&Output::TearDown(attempt, server)));
--- a/crates/front/tests/drive/set_ups.rs
+++ b/crates/front/tests/drive/set_ups.rs
@@ -147,10 +147,10 @@
         SetUpResult::Ended(AttemptOutcome::Rejected, vec![]),
     ));
     let stopped = answers(&harness.handle_input(Input::Stop));
-    assert!(
-        matches!(stopped[..], [(c, Answer::Rejected { reason: RejectReason::ShuttingDown, .. })] if c == call),
-        "{stopped:?}"
-    );
+    let [(answered, Answer::Rejected { reason, .. })] = stopped[..] else {
+        panic!("{stopped:?}")
+    };
+    assert_eq!((answered, reason), (call, RejectReason::ShuttingDown));
     assert!(harness.decide().is_empty());
 }
 
--- a/crates/front/tests/startup_recovery.rs
+++ b/crates/front/tests/startup_recovery.rs
@@ -1,5 +1,5 @@
-//! Staged recovery of a core after a power loss: which requests are queued, which classes are served first, and what a key of
-//! a previous incarnation means.
+//! Staged recovery of a core after a power loss: which requests are queued, which classes are served first, and what a
+//! key of a previous incarnation means.
 mod common;
 use common::*;
 use crankpaddle_front::keys::RequestOutcome;
