--- a/crates/front/src/core/attempts.rs
+++ b/crates/front/src/core/attempts.rs
@@ -2,10 +2,11 @@
 use super::request::{OutstandingAttempt, Request, RequestPhase, SessionEnd};
 use super::Core;
 use crate::ids::{AttemptId, PlayerId};
-use crate::input::SetUpResult;
+use crate::input::{SendState, SetUpResult};
 use crate::keys::{self, RequestOutcome};
 use crate::output::{Answer, FailureReason, Output};
 use crankpaddle::{AttemptOutcome, Event, LoadField, LoadReport, RequestId, SessionUpdate};
+use crankpaddle_time::nanoseconds;
 
 impl Core {
     /// A server answered a set-up, or its attempt ended without an answer.
@@ -80,7 +81,7 @@
             request: id,
             attempt: number,
             server: attempt.server,
-            setup_time: self.now.0.saturating_sub(attempt.started_at.0),
+            setup_time: nanoseconds(self.now.duration_since(attempt.started_at)),
         });
     }
 
@@ -117,13 +118,13 @@
         }
     }
 
-    /// The front defers sending an attempt, or sends it now.
-    pub(super) fn send_deferred(&mut self, attempt: AttemptId, is_deferred: bool) {
+    /// Records whether an attempt was sent, which decides what its time-out means.
+    pub(super) fn send_state_changed(&mut self, attempt: AttemptId, state: SendState) {
         let Some((_, request)) = self.request_of(attempt) else {
             return;
         };
         if let RequestPhase::Waiting(Some(outstanding)) = &mut request.phase {
-            outstanding.is_deferred = is_deferred;
+            outstanding.send_state = state;
         }
     }
 
@@ -135,11 +136,11 @@
         let Some(outstanding) = request.waiting_attempt() else {
             return;
         };
-        // Why: what a slow disk defers has not left; reported as one that may have run, a paid request would fail for it.
-        let outcome = if outstanding.is_deferred {
-            AttemptOutcome::NotSent
-        } else {
-            AttemptOutcome::Timeout
+        // Why: an attempt that a slow disk defers was not sent. Reported as one that may have run, it would make a paid
+        // request fail.
+        let outcome = match outstanding.send_state {
+            SendState::Deferred => AttemptOutcome::NotSent,
+            SendState::Sent => AttemptOutcome::Timeout,
         };
         out.push(Output::AbandonAttempt(attempt, outstanding.server));
         self.attempt_failed(attempt, outcome, LoadReport::new());
@@ -158,8 +159,8 @@
         self.fail_if_unanswered(id, out);
     }
 
-    /// Answers a request that waits without an outstanding attempt, since it would never be answered. The policy decides on
-    /// each such request at once; the core answers should it ever not.
+    /// Fails a request that waits without an outstanding attempt, since nothing else would answer it. The policy
+    /// decides on each request at once; this is a safeguard should it ever not.
     pub(super) fn fail_if_unanswered(&mut self, id: RequestId, out: &mut Vec<Output>) {
         let Some(request) = self.requests.get(&id) else {
             return;
@@ -223,8 +224,10 @@
     }
 }
 
-/// The answer to a set-up that started. Why not always `established`: a session that was cut meanwhile does not play, and
-/// its viewer would wait for ever; it ran, so it has failed. One that came to its end has played.
+/// The answer to a set-up that started: `established`, unless the session was cut before its answer was handled.
+///
+/// Why: a session that was cut does not play, and its viewer would wait for it for ever. It is not rejected, since it
+/// ran. A session that already ran to its end is answered as established.
 fn answer_to_set_up(established: Answer, early_end: Option<&SessionEnd>) -> Answer {
     if early_end.is_some_and(SessionEnd::was_cut) {
         Answer::Failed(FailureReason::ConnectionLost)
--- a/crates/front/src/core/mod.rs
+++ b/crates/front/src/core/mod.rs
@@ -1,9 +1,10 @@
-//! The state machine of a front: its state, how it is driven, and its public face.
+//! The state machine of a front: its state, its public interface and how it is driven.
 //!
-//! [`dispatch`] hands inputs to their handlers: [`open`] (new requests), [`requests`] (resume, close, adopt), [`players`]
-//! (disconnects), [`attempts`] and [`sessions`] (messages of servers), [`startup_recovery`] and [`recovered_keys`] (after
-//! a power loss), [`shutdown`]. They queue events for the placement policy; [`actions`] runs the policy and carries its
-//! actions out, [`set_up`] starts attempts. [`completion`] ends requests, [`key_retention`] keeps their keys for a while.
+//! [`dispatch`] hands inputs to their handlers: [`open`] (new requests), [`requests`] (resume, close, adopt),
+//! [`players`] (disconnects), [`attempts`] and [`sessions`] (messages of servers), [`startup_recovery`] and
+//! [`recovered_keys`] (after a power loss), [`shutdown`]. They queue events for the placement policy; [`actions`] runs
+//! the policy and carries its actions out, [`set_up`] starts attempts. [`completion`] ends requests, [`key_retention`]
+//! keeps their keys for a while.
 mod actions;
 mod attempts;
 mod completion;
@@ -31,17 +32,18 @@
 use crate::recovery_queue::RecoveryQueue;
 use crate::timers::{TimerEntry, Timers};
 use crankpaddle::{
-    Action, Event, Idempotency, PlacementPolicy, RequestId, ServerEstimate, Settings, Time,
+    Action, Class, Event, Idempotency, PlacementPolicy, RequestId, ServerEstimate, Settings, Time,
 };
 use crankpaddle_recovery::{ConservativeBound, StagedRecovery};
 use request::{Player, Request, SessionKey};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::time::Duration;
 
 /// Observes the events that the placement policy gets.
 pub type EventObserver = Box<dyn FnMut(Time, &Event) + Send>;
 
-/// Latency objective where no class is configured, nanoseconds.
-const DEFAULT_LATENCY_OBJECTIVE: u64 = 1_000_000_000;
+/// Latency objective where no class is configured.
+const DEFAULT_LATENCY_OBJECTIVE: Duration = Duration::from_secs(1);
 
 /// The state of a front. The crate's documentation describes how it is driven.
 pub struct Core {
@@ -169,8 +171,8 @@
         self.timers.next_expiry()
     }
 
-    /// Handles all timers that have expired at `now`. Why the caller reads its sockets first: after a stall, answers that
-    /// came in time are still unread and must be handled before the timers.
+    /// Handles all timers that have expired at `now`. Why the caller reads its sockets first: after a stall, answers
+    /// that came in time are still unread and must be handled before the timers.
     pub fn expire(&mut self, now: Time, out: &mut Vec<Output>) {
         self.decide(now, out);
         while let Some(entry) = self.timers.pop_expired(now) {
@@ -215,12 +217,14 @@
         self.events.push_back(event);
     }
 
+    /// The settings of a class; `None` if it is not configured.
+    fn class_settings(&self, class: u8) -> Option<&Class> {
+        self.settings.classes.get(usize::from(class))
+    }
+
     /// Idempotency of a class; `None` if the class is not configured.
     fn idempotency(&self, class: u8) -> Option<Idempotency> {
-        self.settings
-            .classes
-            .get(usize::from(class))
-            .map(|class| class.idempotency)
+        self.class_settings(class).map(|class| class.idempotency)
     }
 
     /// Whether a second set-up of the class is a second bill.
@@ -244,7 +248,9 @@
     OverloadLimits {
         max_pending: config.max_pending,
         max_pending_per_player: config.max_pending_per_player,
-        latency_objective: objectives.min().unwrap_or(DEFAULT_LATENCY_OBJECTIVE),
-        max_retry_after: settings.max_retry_after,
+        latency_objective: objectives
+            .min()
+            .map_or(DEFAULT_LATENCY_OBJECTIVE, Duration::from_nanos),
+        max_retry_after: Duration::from_nanos(settings.max_retry_after),
     }
 }
--- a/crates/front/src/core/open.rs
+++ b/crates/front/src/core/open.rs
@@ -1,4 +1,4 @@
-//! New requests for sessions: what a known key amounts to, load shedding, and the answer's deadline.
+//! New requests for sessions: keys that are already known, load shedding, and the answer's deadline.
 use super::request::{Request, SessionKey};
 use super::startup_recovery::RecoveryDecision;
 use super::Core;
@@ -11,6 +11,7 @@
 use crate::recovery_queue::OpenCall;
 use crate::timers::TimerEntry;
 use crankpaddle::{Event, SessionRequest, Time};
+use std::time::Duration;
 
 /// How long the answer to a request may take.
 pub(super) struct AnswerLimits {
@@ -20,7 +21,7 @@
     pub(super) deadline: Time,
 }
 
-/// How a new request came about.
+/// Whether a new request follows an earlier one of its viewer.
 struct RequestOrigin {
     is_retry: bool,
     is_migration: bool,
@@ -62,7 +63,7 @@
         self.start_request(opening, origin);
     }
 
-    /// Resolves the key of an open. `None`: it is answered, or waits with the request that its key names.
+    /// Resolves the key of an open. `None`: it was answered, or it joined the request that has its key.
     fn resolve_key(&mut self, opening: &OpenCall, out: &mut Vec<Output>) -> Option<RequestOrigin> {
         let open = &opening.open;
         let first = RequestOrigin {
@@ -86,8 +87,8 @@
                 return None;
             }
             ReopenDecision::KeySpent => {
-                // Why no rejection: it states that nothing ran, and this ran. A player whose server was lost while it
-                // reconnected would learn that it may retry what it has paid.
+                // Why it is not rejected: a rejection states that nothing ran, but this session ran. A player that
+                // reconnects after its server was lost would conclude that it may retry a paid request.
                 let answer = Answer::Failed(FailureReason::KeySpent);
                 out.push(Output::Answer(opening.call, answer));
                 return None;
@@ -113,7 +114,10 @@
             self.overload_reason(call, ready_at)?
         };
         let jitter = jitter(self.last_request ^ call.player.0.rotate_left(32) ^ call.number);
-        Some(Answer::Rejected(reason, self.overload.retry_after(jitter)))
+        Some(Answer::Rejected {
+            reason,
+            retry_after: self.overload.retry_after(jitter),
+        })
     }
 
     fn overload_reason(&mut self, call: Call, ready_at: Time) -> Option<RejectReason> {
@@ -164,13 +168,13 @@
             .max_wait
             .get(usize::from(open.class))
             .copied()
-            .unwrap_or(0);
+            .unwrap_or(Duration::ZERO);
         let wait = open.max_wait.min(class_max_wait);
         let margin = self.config.answer_margin.min(wait / 2);
-        let viewer_deadline = Time(received_at.0.saturating_add(wait));
+        let viewer_deadline = received_at + wait;
         AnswerLimits {
             viewer_deadline,
-            deadline: Time(viewer_deadline.0 - margin),
+            deadline: viewer_deadline - margin,
         }
     }
 }
--- a/crates/front/src/core/request.rs
+++ b/crates/front/src/core/request.rs
@@ -1,11 +1,12 @@
 //! The state of one request for a session, and of one player.
 use crate::ids::{AttemptId, Call, PlayerId};
-use crate::input::OpenRequest;
+use crate::input::{OpenRequest, SendState};
 use crate::keys::{KeyState, RequestOutcome};
 use crate::output::FailureReason;
 use crankpaddle::{
     AttemptOutcome, LoadReport, RequestId, ServerId, SessionRequest, SessionUpdate, Time,
 };
+use crankpaddle_time::nanoseconds;
 use std::collections::BTreeSet;
 
 /// The key of a session; keys of different tenants are independent.
@@ -30,8 +31,7 @@
     pub(super) id: AttemptId,
     pub(super) server: ServerId,
     pub(super) started_at: Time,
-    /// The front itself defers sending it, so it has not left.
-    pub(super) is_deferred: bool,
+    pub(super) send_state: SendState,
 }
 
 /// The phase of a request, with the attempt that belongs to it.
@@ -170,7 +170,7 @@
             cell_count: self.cell_count,
             max_rung: self.max_rung,
             deadline,
-            duration_hint: self.duration_hint,
+            duration_hint: self.duration_hint.map(nanoseconds),
             is_retry: self.is_retry,
             is_migration: self.is_migration,
         }
--- a/crates/front/src/core/requests.rs
+++ b/crates/front/src/core/requests.rs
@@ -2,10 +2,10 @@
 use super::request::{OutstandingAttempt, Request, RequestPhase, SessionKey};
 use super::Core;
 use crate::ids::{AttemptId, Call, PlayerId};
-use crate::input::OpenRequest;
+use crate::input::{OpenRequest, SendState};
 use crate::keys::RequestOutcome;
 use crate::output::{Answer, Notification, Output, SessionEndReason};
-use crankpaddle::{AttemptOutcome, Event, RequestId, ServerId, Time};
+use crankpaddle::{AttemptOutcome, Event, RequestId, ServerId};
 
 /// A session that is tracked although this core did not set it up.
 pub(super) struct TrackedSession {
@@ -50,7 +50,10 @@
                     rung: request.rung,
                 };
                 if let Some(superseded) = request.player.filter(|player| *player != call.player) {
-                    let notification = Notification::SessionEnded(SessionEndReason::Superseded, 0);
+                    let notification = Notification::SessionEnded {
+                        reason: SessionEndReason::Superseded,
+                        retry_after: None,
+                    };
                     out.push(Output::Notify(superseded, id, notification));
                 }
                 out.push(Output::Answer(call, established));
@@ -102,8 +105,10 @@
         });
     }
 
-    /// Tracks a session that already plays at a server. `None`: its key is known. Why: the same session may be reported twice,
-    /// or one that this front set up itself is reported; a second one under its key would be ended twice and counted twice.
+    /// Tracks a session that already plays at a server. `None`: its key is known already.
+    ///
+    /// Why: a session may be reported twice, and so may one that this front set up itself. Tracked a second time, it
+    /// would be counted and ended twice.
     pub(super) fn track_established(
         &mut self,
         open: OpenRequest,
@@ -118,13 +123,15 @@
             id: self.next_attempt_id(),
             server,
             started_at: self.now,
-            is_deferred: false,
+            send_state: SendState::Sent,
         };
-        let viewer_deadline = Time(self.now.0.saturating_add(open.max_wait));
+        let viewer_deadline = self.now + open.max_wait;
         let session = open.session_request(id, viewer_deadline);
         let mut request = Request::new(session.clone(), open.key, None, viewer_deadline);
         request.phase = RequestPhase::Playing(attempt);
-        request.rung = self.min_rung(session.class);
+        request.rung = self
+            .class_settings(session.class)
+            .map_or(0, |class| class.min_rung);
         request.attempt_count = 1;
         request.may_have_run = true;
         self.keys.insert(key, id);
@@ -137,11 +144,4 @@
             attempt: attempt.id,
         })
     }
-
-    fn min_rung(&self, class: u8) -> u8 {
-        self.settings
-            .classes
-            .get(usize::from(class))
-            .map_or(0, |class| class.min_rung)
-    }
 }
--- a/crates/front/src/core/sessions.rs
+++ b/crates/front/src/core/sessions.rs
@@ -2,6 +2,7 @@
 use super::request::{RequestPhase, SessionEnd};
 use super::Core;
 use crate::ids::{AttemptId, PlayerId};
+use crate::input::RateCap;
 use crate::jitter::jitter;
 use crate::keys::RequestOutcome;
 use crate::output::{Notification, Output, SessionEndReason};
@@ -18,8 +19,9 @@
         };
         match request.phase {
             RequestPhase::Waiting(_) => {
-                // Why: a server may report its link's load right before its answer. If that update were dropped, the one
-                // fresh figure that each set-up brings would be lost, and the load of links be estimated wrongly.
+                // Why: a server may report the load of its link right before its answer. If that update were dropped,
+                // the measurement that comes with each set-up would be lost, and the load of links be estimated
+                // wrongly.
                 if request.early_updates.len() < MAX_EARLY_UPDATES {
                     request.early_updates.push(update);
                 }
@@ -52,7 +54,7 @@
         let end = SessionEnd { outcome, report };
         if request.is_waiting() {
             // Why: the answer and the end come over two connections, or together. If an end that overtakes its answer
-            // were dropped, the session would play for ever.
+            // were dropped, the session would count as playing for ever.
             request.early_end = Some(end);
             return;
         }
@@ -73,26 +75,30 @@
         out: &mut Vec<Output>,
     ) {
         let notification = if outcome == AttemptOutcome::Completed {
-            Notification::SessionEnded(SessionEndReason::Finished, 0)
+            Notification::SessionEnded {
+                reason: SessionEndReason::Finished,
+                retry_after: None,
+            }
         } else {
-            let retry_after = self.overload.retry_after(jitter(id.0));
-            Notification::SessionEnded(SessionEndReason::ServerLost, retry_after)
+            Notification::SessionEnded {
+                reason: SessionEndReason::ServerLost,
+                retry_after: self.overload.retry_after(jitter(id.0)),
+            }
         };
         out.push(Output::Notify(player, id, notification));
     }
 
-    /// Limits a playing session to its lowest rung, or lifts that limit.
-    pub(super) fn rate_capped(&mut self, attempt: AttemptId, is_capped: bool) {
+    /// Limits the rungs of a playing session, or lifts that limit.
+    pub(super) fn rate_cap_changed(&mut self, attempt: AttemptId, cap: RateCap) {
         let Some((id, request)) = self.request_of(attempt) else {
             return;
         };
         if request.playing_attempt().is_none() {
             return;
         }
-        let max_rung = if is_capped {
-            0
-        } else {
-            request.session.max_rung
+        let max_rung = match cap {
+            RateCap::LowestRung => 0,
+            RateCap::None => request.session.max_rung,
         };
         self.emit(Event::MaxRungChanged {
             request: id,
--- a/crates/front/src/core/startup_recovery.rs
+++ b/crates/front/src/core/startup_recovery.rs
@@ -4,13 +4,14 @@
 use crate::input::OpenRequest;
 use crate::jitter::jitter;
 use crate::output::{Answer, FailureReason, Output, RejectReason};
-use crate::overload::AdmissionDecision;
+use crate::overload::{retry_after, AdmissionDecision};
 use crate::recovery_queue::{OpenCall, QueuedOpen};
 use crate::timers::TimerEntry;
 use crankpaddle::{Event, Time};
 use crankpaddle_recovery::{Admission, ConservativeBound, RecoveryStage, StagedRecovery};
+use std::time::Duration;
 
-/// What becomes of an open while the front recovers.
+/// How an open is handled while the front recovers.
 pub(super) enum RecoveryDecision {
     /// It is served as usual.
     Serve,
@@ -21,8 +22,8 @@
 }
 
 impl Core {
-    /// Starts with a staged recovery; to be called before the first input. `intents_complete`: all paid set-ups that may have
-    /// left were persisted; `previous_fronts`: how many fronts there were.
+    /// Starts with a staged recovery; to be called before the first input. `intents_complete`: all paid set-ups that
+    /// may have left were persisted; `previous_fronts`: how many fronts there were.
     pub fn begin_recovery(
         &mut self,
         staged_recovery: StagedRecovery,
@@ -72,11 +73,13 @@
 
     /// Computes the number of fronts that the policy divides the limits by.
     ///
-    /// Why it only makes this front more careful: a fleet that grew beyond its configuration exceeds each limit that is divided
-    /// into quotas, first the rate of set-ups at servers in slow start; and after a power loss forty fronts come back as
-    /// eleven that know of each other, while the others follow one by one. So peers and persisted state never make the
-    /// count smaller than configured, nor, until servers had time to warm up, smaller than before the loss. The price: a
-    /// peer that reports a wrong count makes this front reject more and attempt less.
+    /// Peers and persisted state only ever increase it: it is never smaller than configured nor, until servers had time
+    /// to warm up, smaller than before the power loss.
+    ///
+    /// Why: a fleet that has grown beyond its configuration exceeds each limit that is divided into quotas, first the
+    /// rate of set-ups at servers in slow start. And after a power loss, forty fronts come back as eleven that know of
+    /// each other, while the others follow one by one. The price: a peer that reports a wrong count makes this front
+    /// reject more and attempt less.
     fn update_replica_count(&mut self) {
         let known = self.known_fronts.max(self.settings.replica_count);
         let replica_count = if self.stage() < RecoveryStage::Normal {
@@ -131,10 +134,11 @@
                     return RecoveryDecision::Serve;
                 }
                 let jitter = jitter(opening.call.player.0.rotate_left(32) ^ opening.call.number);
-                let retry_after = after
+                let retry_after_ns = after
                     .saturating_add((over as f64 * jitter) as u64)
                     .min(self.settings.max_retry_after);
-                RecoveryDecision::Answered(self.not_served(&opening.open, retry_after))
+                let answer = self.not_served(&opening.open, retry_after(retry_after_ns));
+                RecoveryDecision::Answered(answer)
             }
         }
     }
@@ -148,8 +152,10 @@
             .overload
             .admit(self.now, self.now, pending, pending_of_player);
         if admission == AdmissionDecision::TooManyPending {
-            let retry_after = self.overload.retry_after(jitter(call.number));
-            let answer = Answer::Rejected(RejectReason::TooManyPending, retry_after);
+            let answer = Answer::Rejected {
+                reason: RejectReason::TooManyPending,
+                retry_after: self.overload.retry_after(jitter(call.number)),
+            };
             return RecoveryDecision::Answered(answer);
         }
         let limits = self.answer_limits(&opening.open, opening.received_at);
@@ -161,16 +167,19 @@
         RecoveryDecision::Queued
     }
 
-    /// The answer to a request that could not be served in time. Why not always a rejection: it states that nothing ran, and
-    /// a previous incarnation may have run this key. The price: where the disk was lost, a new paid request is answered as
-    /// failed.
-    fn not_served(&self, open: &OpenRequest, retry_after: u64) -> Answer {
+    /// The answer to a request that could not be served in time. Why not always a rejection: it states that nothing
+    /// ran, and a previous incarnation may have run this key. The price: where the disk was lost, a new paid request is
+    /// answered as failed.
+    fn not_served(&self, open: &OpenRequest, retry_after: Option<Duration>) -> Answer {
         let is_known =
             self.intents_complete && !self.unresolved_keys.contains(&SessionKey::from(open));
         if self.is_paid(open.class) && !is_known {
             Answer::Failed(FailureReason::NoAnswer)
         } else {
-            Answer::Rejected(RejectReason::Recovering, retry_after)
+            Answer::Rejected {
+                reason: RejectReason::Recovering,
+                retry_after,
+            }
         }
     }
 
--- a/crates/front/src/input.rs
+++ b/crates/front/src/input.rs
@@ -5,13 +5,14 @@
     AttemptOutcome, CrossZonePolicy, Endpoint, EndpointListKind, LoadReport, RequestId, ServerId,
     SessionUpdate, Time,
 };
+use std::time::Duration;
 
 /// A player's request for a session, with all names resolved to indexes.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct OpenRequest {
     /// Idempotency key chosen by the player, the same over its reconnects: it names one session.
     pub key: String,
-    /// The viewer; the same when he requests another session.
+    /// Identifies the viewer; the same in all requests of one viewer.
     pub viewer: u64,
     /// Class, an index into the settings' classes.
     pub class: u8,
@@ -25,10 +26,10 @@
     pub cell_count: u32,
     /// Highest rung that the player can use.
     pub max_rung: u8,
-    /// How long the viewer waits, nanoseconds from when the request was read; limited by the class's own bound.
-    pub max_wait: u64,
-    /// Expected viewing time, nanoseconds.
-    pub duration_hint: Option<u64>,
+    /// How long the viewer waits from when the request was read; limited by the class's own bound.
+    pub max_wait: Duration,
+    /// Expected viewing time.
+    pub duration_hint: Option<Duration>,
     /// Whether the player states that this is a retry.
     pub is_retry: bool,
     /// Whether the player states that it reopens a session that was migrated.
@@ -44,6 +45,24 @@
     Ended(AttemptOutcome, LoadReport),
 }
 
+/// Whether the front sends an attempt to its server at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendState {
+    /// Not yet: no server has received it.
+    Deferred,
+    /// It was sent or is about to be, so it may run.
+    Sent,
+}
+
+/// Whether the rungs of a session are limited beyond what its viewer can use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RateCap {
+    /// They are not.
+    None,
+    /// It plays at its lowest rung only.
+    LowestRung,
+}
+
 /// An event that a core handles.
 #[derive(Clone, Debug)]
 pub enum Input {
@@ -90,9 +109,9 @@
     EndpointList(EndpointListKind, Vec<Endpoint>),
     /// A set-up has a result.
     SetUpCompleted(AttemptId, SetUpResult),
-    /// Sending an attempt is deferred by the front itself, so that it has not left (`true`), or it is sent now (`false`).
-    /// An attempt without this input is sent at once.
-    SendDeferred(AttemptId, bool),
+    /// The front itself defers sending an attempt, or sends a deferred one now. An attempt without this input is sent
+    /// at once.
+    SendStateChanged(AttemptId, SendState),
     /// A server reported a change of a playing session.
     SessionUpdated(AttemptId, SessionUpdate),
     /// A playing session ended at its server: `Completed` when it ran to its end, `Reset` when the server was lost.
@@ -106,8 +125,8 @@
         /// The policy in force from now on.
         policy: CrossZonePolicy,
     },
-    /// A playing session is limited to its lowest rung (`true`), or may use all rungs that its viewer can use (`false`).
-    RateCapped(AttemptId, bool),
+    /// The rate cap of a playing session was set or lifted.
+    RateCapChanged(AttemptId, RateCap),
     /// A health check has a result.
     HealthCheckCompleted(ServerId, AttemptOutcome, LoadReport),
     /// Number of known fronts in the fleet, including this one and those that may only be unreachable.
--- a/crates/front/src/overload/tests.rs
+++ b/crates/front/src/overload/tests.rs
@@ -1,13 +1,14 @@
 //! Load shedding by the wait and the number of pending requests.
 use super::*;
 const MS: u64 = 1_000_000;
+const SECOND: u64 = 1000 * MS;
 
 fn detector() -> OverloadDetector {
     OverloadDetector::new(OverloadLimits {
         max_pending: 10,
         max_pending_per_player: 3,
-        latency_objective: 800 * MS,
-        max_retry_after: SECOND,
+        latency_objective: Duration::from_nanos(800 * MS),
+        max_retry_after: Duration::from_nanos(SECOND),
     })
 }
 
@@ -60,12 +61,12 @@
 #[test]
 fn retry_after_is_spread_and_grows_up_to_the_configured_maximum() {
     let mut detector = detector();
-    let without_load = detector.retry_after(1.0);
-    assert!(detector.retry_after(0.0) < without_load);
+    let without_load = detector.retry_after(1.0).unwrap();
+    assert!(detector.retry_after(0.0).unwrap() < without_load);
     count_admitted(&mut detector, SECOND, 2000, 60 * MS);
     assert!(
-        detector.retry_after(1.0) > without_load
-            && detector.retry_after(1.0) <= SECOND
-            && detector.retry_after(7.0) <= SECOND
+        detector.retry_after(1.0).unwrap() > without_load
+            && detector.retry_after(1.0).unwrap() <= Duration::from_nanos(SECOND)
+            && detector.retry_after(7.0).unwrap() <= Duration::from_nanos(SECOND)
     );
 }
--- a/crates/front/tests/drive/sessions.rs
+++ b/crates/front/tests/drive/sessions.rs
@@ -3,6 +3,7 @@
 use crate::harness::{answers, set_up, Harness};
 use crankpaddle_front::*;
 use std::sync::mpsc;
+use std::time::Duration;
 
 #[test]
 fn a_lost_server_ends_its_session_with_a_retry_after_and_its_paid_key_is_spent() {
@@ -11,7 +12,17 @@
     let (attempt, _) = set_up(&outputs).unwrap();
     harness.start(attempt);
     let outputs = harness.handle(Input::SessionEnded(attempt, AttemptOutcome::Reset, vec![]));
-    let is_lost = |output: &Output| matches!(output, Output::Notify(PlayerId(1), _, Notification::SessionEnded(SessionEndReason::ServerLost, retry_after)) if *retry_after > 0);
+    let is_lost = |output: &Output| match output {
+        Output::Notify(
+            PlayerId(1),
+            _,
+            Notification::SessionEnded {
+                reason,
+                retry_after,
+            },
+        ) => *reason == SessionEndReason::ServerLost && *retry_after > Some(Duration::ZERO),
+        _ => false,
+    };
     assert!(outputs.iter().any(is_lost));
     let (call, outputs) = harness.open(1, "a", PAID);
     assert_eq!(
@@ -28,11 +39,13 @@
     let (_, outputs) = harness.open(1, "a", FREE);
     let (attempt, server) = set_up(&outputs).unwrap();
     assert!(
-        harness.handle(Input::RateCapped(attempt, true)).is_empty(),
+        harness
+            .handle(Input::RateCapChanged(attempt, RateCap::LowestRung))
+            .is_empty(),
         "a session that does not play yet is not demoted"
     );
     harness.start(attempt);
-    let demoted = harness.handle(Input::RateCapped(attempt, true));
+    let demoted = harness.handle(Input::RateCapChanged(attempt, RateCap::LowestRung));
     assert!(
         demoted.contains(&Output::SetRung(attempt, server, 0)),
         "{demoted:?}"
@@ -44,7 +57,7 @@
             .all(|output| !matches!(output, Output::SetRung(..))),
         "and stays there"
     );
-    let mut after = harness.handle(Input::RateCapped(attempt, false));
+    let mut after = harness.handle(Input::RateCapChanged(attempt, RateCap::None));
     after.extend(harness.advance(90 * SECOND));
     assert!(after
         .iter()
@@ -65,7 +78,10 @@
         answers(&outputs)
             .into_iter()
             .find_map(|(_, answer)| match answer {
-                Answer::Rejected(reason, retry_after) => Some((reason, retry_after > 0)),
+                Answer::Rejected {
+                    reason,
+                    retry_after,
+                } => Some((reason, retry_after > Some(Duration::ZERO))),
                 _ => None,
             })
     };
@@ -144,9 +160,18 @@
     let (attempt, server) = set_up(&outputs).unwrap();
     harness.handle(Input::Drain);
     let (call, outputs) = harness.open(2, "b", FREE);
-    assert!(
-        matches!(answers(&outputs)[..], [(c, Answer::Rejected(RejectReason::ShuttingDown, retry_after))] if c == call && retry_after > 0)
-    );
+    let [(
+        answered,
+        Answer::Rejected {
+            reason,
+            retry_after,
+        },
+    )] = answers(&outputs)[..]
+    else {
+        panic!("{outputs:?}")
+    };
+    assert_eq!((answered, reason), (call, RejectReason::ShuttingDown));
+    assert!(retry_after > Some(Duration::ZERO));
     assert_eq!(answers(&harness.start(attempt)).len(), 1);
     let outputs = harness.handle(Input::Stop);
     assert!(outputs.contains(&Output::TearDown(attempt, server)));
--- a/crates/front/tests/drive/set_ups.rs
+++ b/crates/front/tests/drive/set_ups.rs
@@ -92,7 +92,10 @@
         [Output::Notify(
             PlayerId(1),
             _,
-            Notification::SessionEnded(SessionEndReason::Finished, _)
+            Notification::SessionEnded {
+                reason: SessionEndReason::Finished,
+                ..
+            }
         )]
     ));
     assert_eq!(
@@ -144,10 +147,10 @@
         SetUpResult::Ended(AttemptOutcome::Rejected, vec![]),
     ));
     let stopped = answers(&harness.handle_input(Input::Stop));
-    assert!(
-        matches!(stopped[..], [(c, Answer::Rejected(RejectReason::ShuttingDown, _))] if c == call),
-        "{stopped:?}"
-    );
+    let [(answered, Answer::Rejected { reason, .. })] = stopped[..] else {
+        panic!("{stopped:?}")
+    };
+    assert_eq!((answered, reason), (call, RejectReason::ShuttingDown));
     assert!(harness.decide().is_empty());
 }
 
--- a/crates/testbed/src/scenario_runner/arrivals.rs
+++ b/crates/testbed/src/scenario_runner/arrivals.rs
@@ -98,7 +98,7 @@
                 name: self.config.classes[class].clone(),
             },
             watch: Duration::from_nanos(watch).clamp(mean_watch / 10, mean_watch * 4),
-            patience: Duration::from_nanos(self.config.terms.max_wait[class]),
+            patience: self.config.terms.max_wait[class],
             top: if small_screen { rungs / 2 } else { rungs - 1 },
             fronts: Vec::new(),
         }
--- a/crates/testbed/src/wind_down.rs
+++ b/crates/testbed/src/wind_down.rs
@@ -21,8 +21,7 @@
 /// Waits until the servers have no streams: a front ends sessions of absent players after the resume window. The fault
 /// where some are left.
 pub(crate) fn wait_for_streams(fleet: &Fleet) -> Option<String> {
-    let resume_window = Duration::from_nanos(fleet.config.terms.resume_window);
-    let deadline = clock::now() + resume_window + SESSION_END_GRACE;
+    let deadline = clock::now() + fleet.config.terms.resume_window + SESSION_END_GRACE;
     while fleet.streams() > 0 && clock::now() < deadline {
         std::thread::sleep(CHECK_INTERVAL);
     }
