Daemon tests: the front that stops has a peer again, and no connection before the limit is filled

Change: the front with the limit is configured with the same peer, and the test waits until it counts one connection.

--- a/crates/daemon/tests/described/http.rs
+++ b/crates/daemon/tests/described/http.rs
@@ -24,16 +24,22 @@
     });
     fetch_descriptions(transcript, address);
     send_requests(transcript, address);
-    transcript.get_until("connections to end", address, "/health", |status, body| {
-        status == 200 && body.contains("\"connections\":1")
-    });
+    wait_for_connections_to_end(transcript, address);
     drop(harness);
     // Why a front of its own: a connection counts until the front has seen its end, so requests in a row would
     // meet a limit of three.
-    let limited = start_harness(&[("connections: 8000", "connections: 3")]);
+    let limited = start_harness(&[("connections: 8000", "connections: 3"), ("log {", &peers)]);
+    wait_for_connections_to_end(transcript, limited.daemon.address());
     fill_connections_and_stop(version, &limited, transcript);
 }
 
+/// Waits until the request for this is the only connection.
+fn wait_for_connections_to_end(transcript: &Transcript, address: SocketAddr) {
+    transcript.get_until("connections to end", address, "/health", |status, body| {
+        status == 200 && body.contains("\"connections\":1")
+    });
+}
+
 fn write_key(version: Version) -> PathBuf {
     let key = std::env::temp_dir().join(format!(
         "crankpaddle-described-{}-{version:?}",
