Daemon, config: points in time and durations are Time and Duration

Cause: backoffs, timeouts, deadlines and clock times were bare nanoseconds, told apart by comments only. Change: server_connection_state, connection_pool, server_link, the event loop with its shutdown, the player's idle check and the list service's backoff use Time and Duration; config::Limits and Peers::probe_every are Durations, with their call sites in testbed and membership_runner. AtomicTime holds a Time that coroutines share. idle_action takes the time of a ping as an Option in place of 0 for none. Wire forms, logs and arithmetic stay: the same integer nanoseconds, saturating as before. The tests differ in the types that they write.

--- a/crates/config/src/check/limits.rs
+++ b/crates/config/src/check/limits.rs
@@ -66,12 +66,12 @@
             connections: self.count("limits.connections", connections, 1, MAX_CONNECTIONS) as usize,
             message: self.size("limits.message", limits.message()),
             unread: self.size("limits.unread", limits.unread()),
-            idle: self.time("limits.idle", limits.idle()),
-            handshake: self.time("limits.handshake", limits.handshake()),
-            connect: self.time("limits.connect", limits.connect()),
-            pool_idle: self.time("limits.pool_idle", limits.pool_idle()),
-            silence: self.time("limits.silence", limits.silence()),
-            drain: self.time("limits.drain", limits.drain()),
+            idle: self.duration("limits.idle", limits.idle()),
+            handshake: self.duration("limits.handshake", limits.handshake()),
+            connect: self.duration("limits.connect", limits.connect()),
+            pool_idle: self.duration("limits.pool_idle", limits.pool_idle()),
+            silence: self.duration("limits.silence", limits.silence()),
+            drain: self.duration("limits.drain", limits.drain()),
         }
     }
 }
--- a/crates/config/src/check/mod.rs
+++ b/crates/config/src/check/mod.rs
@@ -26,6 +26,7 @@
 use rules::Rules;
 use settings::SettingsParts;
 use std::path::PathBuf;
+use std::time::Duration;
 use tenants::Tenants;
 use titles::Titles;
 
@@ -153,6 +154,11 @@
         }
     }
 
+    /// A time, more than zero.
+    fn duration(&mut self, path: &str, text: &str) -> Duration {
+        Duration::from_nanos(self.time(path, text))
+    }
+
     /// Checks the name that a front has among others.
     fn replica_name(&mut self, path: &str, name: &str) {
         const MAX_BYTES: usize = 64;
--- a/crates/config/src/check/peers.rs
+++ b/crates/config/src/check/peers.rs
@@ -3,9 +3,10 @@
 use crate::{schema, Peers};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
-/// The shortest probe interval in nanoseconds: within a shorter one no peer could answer.
-const MIN_PROBE_INTERVAL: u64 = 20_000_000;
+/// The shortest probe interval: within a shorter one no peer could answer.
+const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(20);
 const BYTES_PER_KB: f64 = 1000.0;
 
 impl ConfigChecker<'_, '_> {
@@ -14,7 +15,7 @@
         let peers = sections.first()?;
         let path = |field: &str| format!("peers[0].{field}");
         self.replica_name(&path("name"), &peers.name);
-        let probe_every = self.time(&path("probe_every"), peers.probe_every());
+        let probe_every = self.duration(&path("probe_every"), peers.probe_every());
         self.must(
             probe_every >= MIN_PROBE_INTERVAL,
             &path("probe_every"),
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -13,6 +13,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 pub use crankpaddle_textproto::Problem;
 
@@ -40,7 +41,7 @@
     pub group: u16,
 }
 
-/// Limits of the front's sockets. Times in nanoseconds, sizes in bytes.
+/// Limits of the front's sockets. Sizes in bytes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// Concurrent player connections.
@@ -50,17 +51,17 @@
     /// Bytes that may wait for a player that does not read.
     pub unread: usize,
     /// A silent player is pinged after this time, and disconnected after as much again.
-    pub idle: u64,
+    pub idle: Duration,
     /// Time within which a request must be complete.
-    pub handshake: u64,
+    pub handshake: Duration,
     /// Time to connect to a server.
-    pub connect: u64,
+    pub connect: Duration,
     /// Idle connections to servers are closed after this time.
-    pub pool_idle: u64,
+    pub pool_idle: Duration,
     /// A silent event stream is reconnected after this time.
-    pub silence: u64,
+    pub silence: Duration,
     /// Longest time that a shutdown waits for work in progress.
-    pub drain: u64,
+    pub drain: Duration,
 }
 
 /// How a front finds its peers and is found by them.
@@ -80,8 +81,8 @@
     pub datagrams: u32,
     /// Most bytes sent in a second.
     pub bytes: usize,
-    /// Probe interval in nanoseconds.
-    pub probe_every: u64,
+    /// Probe interval.
+    pub probe_every: Duration,
     /// Addresses that replace those that peers advertise, by the peer's name.
     pub ways: HashMap<String, SocketAddr>,
 }
--- a/crates/daemon/src/connection_pool.rs
+++ b/crates/daemon/src/connection_pool.rs
@@ -29,9 +29,9 @@
         None
     }
 
-    /// Keeps a connection for `idle_timeout`, nanoseconds.
-    pub(crate) fn put(&self, address: SocketAddr, socket: Arc<Socket>, idle_timeout: u64) {
-        socket.set_expiry(clock::now() + Duration::from_nanos(idle_timeout));
+    /// Keeps a connection for `idle_timeout`.
+    pub(crate) fn put(&self, address: SocketAddr, socket: Arc<Socket>, idle_timeout: Duration) {
+        socket.set_expiry(clock::now() + idle_timeout);
         let mut idle = self.lock();
         let sockets = idle.entry(address).or_default();
         sockets.retain(|socket| !socket.is_closed());
--- a/crates/daemon/src/event_loop/attempts.rs
+++ b/crates/daemon/src/event_loop/attempts.rs
@@ -21,10 +21,12 @@
         self.record_attempt_result(attempt, &name, proven_result(&result));
         match &result {
             SetUpResult::Started(_) => {
-                let now = clock::now().as_nanos();
+                let now = clock::now();
                 let state = self.servers.entry(server).or_default();
                 state.connection.session_started(attempt, name, now);
-                self.traffic.controller.session_established(attempt.0, now);
+                self.traffic
+                    .controller
+                    .session_established(attempt.0, now.as_nanos());
             }
             SetUpResult::Ended(outcome, _) => {
                 if *outcome == AttemptOutcome::ConnectFailed {
@@ -74,7 +76,7 @@
         if let Some(state) = self.servers.get_mut(&live.server) {
             state.connection.session_ended(attempt);
         }
-        live.link.attempt_released(clock::now().as_nanos());
+        live.link.attempt_released(clock::now());
         Some(live)
     }
 }
--- a/crates/daemon/src/event_loop/maintenance.rs
+++ b/crates/daemon/src/event_loop/maintenance.rs
@@ -2,6 +2,7 @@
 use super::EventLoop;
 use crankpaddle_front::{AttemptId, Input};
 use crankpaddle_net::clock;
+use crankpaddle_time::Time;
 
 impl EventLoop {
     pub(super) fn run_maintenance(&mut self) {
@@ -9,7 +10,7 @@
         let idle_timeout = self.shared.limits().pool_idle;
         for state in self.servers.values() {
             if let Some(link) = &state.link {
-                link.close_if_idle(now, idle_timeout);
+                link.close_if_idle(Time(now), idle_timeout);
             }
         }
         self.shared.pool.prune();
--- a/crates/daemon/src/event_loop/mod.rs
+++ b/crates/daemon/src/event_loop/mod.rs
@@ -36,11 +36,10 @@
 use crate::shared::Shared;
 use crate::traffic::TrafficAccounting;
 use crankpaddle_cross_zone_traffic::report::TrafficReport;
-use crankpaddle_front::{
-    AttemptId, Core, EndpointListKind, Input, Output, PlayerId, ServerId, Time,
-};
+use crankpaddle_front::{AttemptId, Core, EndpointListKind, Input, Output, PlayerId, ServerId};
 use crankpaddle_net::{clock, drain_after_stall, drain_queue, recv_until};
 use crankpaddle_server_protocol::list::CachedEndpoints;
+use crankpaddle_time::Time;
 use durable_state::DurableState;
 use may::sync::mpsc::Receiver;
 use shutdown::Shutdown;
@@ -48,15 +47,17 @@
 use std::sync::mpsc::RecvTimeoutError;
 use std::sync::Arc;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
+/// Nanoseconds.
 const MILLISECOND: u64 = 1_000_000;
-/// Links, pools and budgets are maintained this often, nanoseconds.
-const MAINTENANCE_INTERVAL: u64 = 1000 * MILLISECOND;
+/// Links, pools and budgets are maintained this often.
+const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
 /// Messages handled before timers are checked, so that a flood of messages can't hold up answers that are
 /// due.
 const MESSAGE_BATCH: usize = 256;
 /// While stopping, the loop looks this often whether it is finished: closed controls send no message.
-const STOP_POLL_INTERVAL: u64 = 20 * MILLISECOND;
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// An attempt that was sent, or the session that it established.
 struct LiveAttempt {
@@ -96,7 +97,7 @@
     /// `None` where no store is configured.
     durable: Option<DurableState>,
     outputs: Vec<Output>,
-    next_maintenance: u64,
+    next_maintenance: Time,
     shutdown: Shutdown,
 }
 
@@ -116,7 +117,7 @@
             config.settings.clone(),
             config.terms.clone(),
             seed,
-            Time(clock::now().as_nanos()),
+            clock::now(),
         );
         let titles = config.titles.iter();
         let title_names = titles.map(|(name, title)| (title.number, name.clone()));
@@ -134,7 +135,7 @@
             traffic_writer: FileWriter::start(config.traffic_file.clone(), "traffic account"),
             durable: None,
             outputs: Vec::new(),
-            next_maintenance: u64::MAX,
+            next_maintenance: Time::MAX,
             shutdown: Shutdown::Running,
             shared,
         };
@@ -150,7 +151,7 @@
 
     /// Runs until the front has stopped; returns the threads that still write to disk.
     pub(crate) fn run(mut self, inbox: &Receiver<Message>) -> Vec<JoinHandle<()>> {
-        self.next_maintenance = clock::now().as_nanos() + MAINTENANCE_INTERVAL;
+        self.next_maintenance = clock::now() + MAINTENANCE_INTERVAL;
         while !self.is_finished() {
             let Ok(first) = self.wait_for_message(inbox) else {
                 break;
@@ -159,13 +160,12 @@
                 self.handle_message(message);
             }
             self.drain_inbox(inbox);
-            if clock::now().as_nanos() >= self.next_maintenance {
-                self.next_maintenance = clock::now().as_nanos() + MAINTENANCE_INTERVAL;
+            if clock::now() >= self.next_maintenance {
+                self.next_maintenance = clock::now() + MAINTENANCE_INTERVAL;
                 self.run_maintenance();
             }
             self.advance_shutdown();
-            self.core
-                .expire(Time(clock::now().as_nanos()), &mut self.outputs);
+            self.core.expire(clock::now(), &mut self.outputs);
             self.perform_outputs();
             self.shared
                 .publish_counts(self.core.waiting(), self.core.playing());
@@ -178,7 +178,7 @@
         &mut self,
         inbox: &Receiver<Message>,
     ) -> Result<Option<Message>, InboxClosed> {
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         let mut deadline = self.core_deadline();
         deadline = deadline.min(self.next_maintenance);
         deadline = deadline.min(self.shutdown.deadline());
@@ -189,9 +189,9 @@
             return Ok(None);
         }
         if self.shutdown.is_stopping() {
-            deadline = deadline.min(now.saturating_add(STOP_POLL_INTERVAL));
+            deadline = deadline.min(now + STOP_POLL_INTERVAL);
         }
-        match recv_until(inbox, Time(deadline)) {
+        match recv_until(inbox, deadline) {
             Ok(message) => Ok(Some(message)),
             Err(RecvTimeoutError::Timeout) => Ok(None),
             Err(RecvTimeoutError::Disconnected) => Err(InboxClosed),
@@ -202,8 +202,7 @@
     /// don't fire for messages that arrived in time.
     fn drain_inbox(&mut self, inbox: &Receiver<Message>) {
         drain_queue(inbox, MESSAGE_BATCH, |message| self.handle_message(message));
-        let deadline = self.core_deadline();
-        let has_stalled = drain_after_stall(Time(deadline), || {
+        let has_stalled = drain_after_stall(self.core_deadline(), || {
             let handled = drain_queue(inbox, MESSAGE_BATCH, |message| self.handle_message(message));
             handled == MESSAGE_BATCH
         });
@@ -212,15 +211,15 @@
         }
     }
 
-    fn core_deadline(&self) -> u64 {
-        self.core.next_expiry().map_or(u64::MAX, |time| time.0)
+    fn core_deadline(&self) -> Time {
+        self.core.next_expiry().unwrap_or(Time::MAX)
     }
 
     /// Passes an input to the core and performs the outputs that can't wait; the rest is decided in
     /// [`Core::expire`], when the queue is drained.
     fn handle_core_input(&mut self, input: Input) {
         self.core
-            .handle_input(Time(clock::now().as_nanos()), input, &mut self.outputs);
+            .handle_input(clock::now(), input, &mut self.outputs);
         self.perform_outputs();
     }
 }
--- a/crates/daemon/src/event_loop/reconciliation.rs
+++ b/crates/daemon/src/event_loop/reconciliation.rs
@@ -147,7 +147,7 @@
         };
         let is_first = durable.server_starts.insert(server, started_at).is_none();
         if is_first && !durable.is_reconciling() {
-            self.server_started(server, started_at);
+            self.server_started(server, Time(started_at));
         }
     }
 
--- a/crates/daemon/src/event_loop/server_messages.rs
+++ b/crates/daemon/src/event_loop/server_messages.rs
@@ -1,9 +1,13 @@
 //! What servers report on their event streams, and that a server can't be reached.
-use super::{EventLoop, MILLISECOND};
+use super::EventLoop;
 use crate::message::ServerMessage;
-use crankpaddle_front::{AttemptId, AttemptOutcome, Input, ServerId, SessionUpdate};
+use crankpaddle_front::{
+    AttemptId, AttemptOutcome, EndpointListKind, Input, ServerId, SessionUpdate,
+};
 use crankpaddle_net::clock;
 use crankpaddle_server_protocol::event_stream::{StreamStart, TrafficCounts};
+use crankpaddle_time::Time;
+use std::time::Duration;
 
 impl EventLoop {
     pub(super) fn handle_server_message(&mut self, server: ServerId, message: ServerMessage) {
@@ -38,7 +42,7 @@
         }
     }
 
-    fn stream_started(&mut self, server: ServerId, start: &StreamStart, called_at: u64) {
+    fn stream_started(&mut self, server: ServerId, start: &StreamStart, called_at: Time) {
         self.traffic
             .controller
             .server_connected(server.0, clock::now().as_nanos());
@@ -91,11 +95,11 @@
         };
         let is_known = state.connection.incarnation().is_some();
         let is_other = state.connection.is_other_incarnation(&start.boot);
-        let now = clock::now().as_nanos();
-        let age = start.age_ms.map(|age| age.saturating_mul(MILLISECOND));
+        let now = clock::now();
+        let age = start.age_ms.map(Duration::from_millis);
         let started_at = match (is_known, age) {
             (true, _) if !is_other => return,
-            (_, Some(age)) => now.saturating_sub(age),
+            (_, Some(age)) => now - age,
             (true, None) => now,
             (false, None) => return,
         };
@@ -106,7 +110,7 @@
     }
 
     /// A server started at that time, or later where the list gives a later start.
-    pub(super) fn server_started(&mut self, server: ServerId, started_at: u64) {
+    pub(super) fn server_started(&mut self, server: ServerId, started_at: Time) {
         let entries = self.endpoints.servers().iter();
         let entry: Vec<_> = entries
             .filter(|entry| entry.id == server.0)
@@ -114,12 +118,9 @@
             .collect();
         let mut endpoints = self.resolve_endpoints(&entry);
         for endpoint in &mut endpoints {
-            endpoint.started_at = endpoint.started_at.max(crankpaddle_front::Time(started_at));
+            endpoint.started_at = endpoint.started_at.max(started_at);
         }
-        self.handle_core_input(Input::EndpointList(
-            crankpaddle_front::EndpointListKind::Delta,
-            endpoints,
-        ));
+        self.handle_core_input(Input::EndpointList(EndpointListKind::Delta, endpoints));
     }
 
     fn stream_closed(&mut self, server: ServerId) {
@@ -134,10 +135,10 @@
     /// milliseconds ago, and this front, whose calls failed until then, waits before it calls again. A server
     /// that can't be reached is not warmed up, and nobody else reports its start. The cost: a server cut off
     /// from this front alone starts slowly when it can be reached again.
-    fn server_unreachable(&mut self, server: ServerId, called_at: u64) {
+    fn server_unreachable(&mut self, server: ServerId, called_at: Time) {
         self.traffic.controller.server_lost(server.0);
         if self.is_list_unavailable {
-            self.server_started(server, clock::now().as_nanos());
+            self.server_started(server, clock::now());
         }
         let lost = self
             .servers
--- a/crates/daemon/src/event_loop/session_adoption.rs
+++ b/crates/daemon/src/event_loop/session_adoption.rs
@@ -6,6 +6,7 @@
 use crankpaddle_net::clock;
 use crankpaddle_recovery::reconciliation::InventorySession;
 use crankpaddle_recovery::{Intent, IntentOutcome};
+use crankpaddle_time::Time;
 use std::sync::Arc;
 
 /// Hexadecimal digits of a bill that stand for the unknown viewer: a 64-bit number.
@@ -117,7 +118,7 @@
         let state = self.servers.entry(server).or_default();
         state
             .connection
-            .session_started(attempt, session.name.clone(), now);
+            .session_started(attempt, session.name.clone(), Time(now));
         if is_paid_class(&self.shared.config, usize::from(order.class)) {
             self.write_adopted_intent(server, &session);
         }
--- a/crates/daemon/src/event_loop/shutdown.rs
+++ b/crates/daemon/src/event_loop/shutdown.rs
@@ -1,30 +1,32 @@
 //! Graceful shutdown: draining, stopping, and the end of the loop.
-use super::{EventLoop, MILLISECOND};
+use super::EventLoop;
 use crankpaddle_front::Input;
 use crankpaddle_net::clock;
+use crankpaddle_time::Time;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
-/// While stopping, players and servers get this long to receive what is still sent, nanoseconds.
-const STOP_TIMEOUT: u64 = 1000 * MILLISECOND;
+/// While stopping, players and servers get this long to receive what is still sent.
+const STOP_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// How far the front is on its way to the end. Deadlines are clock times in nanoseconds.
+/// The stage of the graceful shutdown.
 #[derive(Clone, Copy)]
 pub(super) enum Shutdown {
     Running,
     /// Nothing new is taken; requests are answered until the deadline.
     Draining {
-        deadline: u64,
+        deadline: Time,
     },
     /// Sessions were ended; connections are closed until the deadline.
     Stopping {
-        deadline: u64,
+        deadline: Time,
     },
 }
 
 impl Shutdown {
-    pub(super) fn deadline(self) -> u64 {
+    pub(super) fn deadline(self) -> Time {
         match self {
-            Shutdown::Running => u64::MAX,
+            Shutdown::Running => Time::MAX,
             Shutdown::Draining { deadline } | Shutdown::Stopping { deadline } => deadline,
         }
     }
@@ -46,9 +48,7 @@
             "draining started"
         );
         self.shared.start_draining();
-        let deadline = clock::now()
-            .as_nanos()
-            .saturating_add(self.shared.limits().drain);
+        let deadline = clock::now() + self.shared.limits().drain;
         self.shutdown = Shutdown::Draining { deadline };
         self.handle_core_input(Input::Drain);
     }
@@ -59,7 +59,7 @@
         let Shutdown::Draining { deadline } = self.shutdown else {
             return;
         };
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         if self.core.waiting() > 0 && now < deadline {
             return;
         }
@@ -79,7 +79,7 @@
             return false;
         };
         let all_sent = self.players.is_empty() && !self.shared.has_pending_controls();
-        all_sent || clock::now().as_nanos() >= deadline
+        all_sent || clock::now() >= deadline
     }
 
     /// Writes what shall be on disk at the end; returns the threads that write it.
--- a/crates/daemon/src/http_responses.rs
+++ b/crates/daemon/src/http_responses.rs
@@ -5,8 +5,8 @@
 use crankpaddle_http::head::{self, Request};
 use crankpaddle_http::problem::Problem;
 use crankpaddle_net::{clock, recv_until};
-use crankpaddle_time::Time;
 use may::sync::mpsc::{channel, Sender};
+use std::time::Duration;
 
 /// A header field.
 type Field<'a> = (&'a str, &'a str);
@@ -15,8 +15,8 @@
 pub(crate) const CLOSE: Field<'static> = ("connection", "close");
 const KEEP_ALIVE: Field<'static> = ("connection", "keep-alive");
 const JSON: &str = "application/json";
-/// The event loop replies within this time, nanoseconds; else the front is overloaded.
-const REPLY_TIMEOUT: u64 = 2_000_000_000;
+/// The event loop replies within this time; else the front is overloaded.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(2);
 /// The paths of resources; the descriptions of the API come on top.
 const PATHS: [&str; 5] = ["/fleet", "/health", "/members", "/session", "/traffic"];
 
@@ -111,7 +111,7 @@
         let Some(membership) = &self.shared.membership else {
             return self.problem(404, "this front has no peers in its configuration", &[]);
         };
-        match membership.members(clock::now().as_nanos().saturating_add(REPLY_TIMEOUT)) {
+        match membership.members((clock::now() + REPLY_TIMEOUT).as_nanos()) {
             Some(members) => {
                 let body = serde_json::to_string(&members).unwrap_or_default();
                 self.success(200, JSON, &body)
@@ -135,8 +135,7 @@
     fn request<T>(&self, message: impl FnOnce(Sender<T>) -> Message) -> Result<T, ReplyTimeout> {
         let (reply, replies) = channel();
         self.shared.send(message(reply));
-        let deadline = clock::now().as_nanos().saturating_add(REPLY_TIMEOUT);
-        recv_until(&replies, Time(deadline)).map_err(|_| ReplyTimeout)
+        recv_until(&replies, clock::now() + REPLY_TIMEOUT).map_err(|_| ReplyTimeout)
     }
 
     fn busy(&self) -> Vec<u8> {
--- a/crates/daemon/src/list_service_client.rs
+++ b/crates/daemon/src/list_service_client.rs
@@ -7,18 +7,17 @@
 use crankpaddle_net::exchange::{Events, ExchangeError, HttpExchange};
 use crankpaddle_net::{clock, sleep, spawn, Socket, Stack};
 use crankpaddle_server_protocol::list::{self, CachedEndpoints};
+use crankpaddle_time::nanoseconds;
 use std::fs;
 use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
-const MILLISECOND: u64 = 1_000_000;
-/// Backoff after the first failed call, nanoseconds; half of it is drawn, so that fronts do not call
-/// together.
-const FIRST_BACKOFF: u64 = 100 * MILLISECOND;
-/// Longest backoff, nanoseconds.
-const LONGEST_BACKOFF: u64 = 2000 * MILLISECOND;
+/// Backoff after the first failed call; half of it is random, so that fronts do not call at the same time.
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+/// Longest backoff.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(2);
 /// Doublings of the backoff that are computed at most: beyond them it is the longest in any case.
 const MOST_DOUBLINGS: u32 = 8;
 /// The status of a response that carries a stream of lists.
@@ -76,6 +75,7 @@
     let longest = FIRST_BACKOFF
         .saturating_mul(1 << doublings)
         .min(LONGEST_BACKOFF);
+    let longest = nanoseconds(longest);
     Duration::from_nanos(rand::random_range(longest / 2..=longest))
 }
 
@@ -114,7 +114,7 @@
     let socket = Socket::connect(&address, shared.connect_timeout()).ok()?;
     let socket = Arc::new(socket);
     let silence_timeout = shared.limits().silence;
-    socket.set_expiry(clock::now() + Duration::from_nanos(silence_timeout));
+    socket.set_expiry(clock::now() + silence_timeout);
     shared.server_sweeper.watch(&socket);
     let request = list::subscribe(&address.to_string(), shared.names.front());
     socket.write_all(&request).ok()?;
@@ -123,7 +123,5 @@
     if head.status != OK {
         return None;
     }
-    exchange
-        .events(&head, Duration::from_nanos(silence_timeout))
-        .ok()
+    exchange.events(&head, silence_timeout).ok()
 }
--- a/crates/daemon/src/membership_runner.rs
+++ b/crates/daemon/src/membership_runner.rs
@@ -12,7 +12,7 @@
     LocalHealth, MemberChange, MemberState, Membership, MembershipConfig, Output,
 };
 use crankpaddle_net::{clock, drain_queue, recv_until, spawn, Stack};
-use crankpaddle_time::Time;
+use crankpaddle_time::{nanoseconds, Time};
 use may::net::UdpSocket;
 use may::sync::mpsc::{channel, Receiver, Sender};
 use std::collections::HashMap;
@@ -116,8 +116,8 @@
         incarnation: rand::random(),
         key,
         seeds: config.seeds.iter().map(SocketAddr::to_string).collect(),
-        probe_interval: config.probe_every,
-        probe_timeout: config.probe_every * 2 / 5,
+        probe_interval: nanoseconds(config.probe_every),
+        probe_timeout: nanoseconds(config.probe_every) * 2 / 5,
         datagrams: f64::from(config.datagrams),
         bytes: config.bytes as f64,
         ..MembershipConfig::default()
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -9,10 +9,11 @@
 use crankpaddle_server_protocol::event_stream::{StreamStart, TrafficCounts};
 use crankpaddle_server_protocol::list::EndpointListBody;
 use crankpaddle_server_protocol::session_inventory::SessionInventory;
+use crankpaddle_time::Time;
 use may::sync::mpsc;
 use std::sync::Arc;
 
-/// An event for the event loop. Times are nanoseconds of [`crankpaddle_net::clock`].
+/// An event for the event loop. Times are of [`crankpaddle_net::clock`].
 pub(crate) enum Message {
     /// A player connected.
     PlayerConnected { player: Arc<Player> },
@@ -57,11 +58,11 @@
 /// What one server sent, or that it could not be reached. Sessions and attempts are named as the server knows them.
 pub(crate) enum ServerMessage {
     /// Its event stream began, in response to a call made at `called_at`.
-    StreamStarted { start: StreamStart, called_at: u64 },
+    StreamStarted { start: StreamStart, called_at: Time },
     /// It closed its event stream; it was alive until now.
     StreamClosed,
     /// It can't be reached, as a call made at `called_at` showed.
-    Unreachable { called_at: u64 },
+    Unreachable { called_at: Time },
     /// It reported updates of a session.
     SessionUpdated {
         session_name: String,
--- a/crates/daemon/src/player.rs
+++ b/crates/daemon/src/player.rs
@@ -1,10 +1,12 @@
 //! A player's connection, shared by the event loop and the coroutine that reads it: pending calls, and what
 //! is sent.
+use crate::atomic_time::AtomicTime;
 use crankpaddle_front::{PlayerId, RequestId};
 use crankpaddle_net::{clock, Socket, WriteBuffer};
 use crankpaddle_session_api::calls::Calls;
 use crankpaddle_session_api::jsonrpc::Id;
 use crankpaddle_session_api::Version;
+use crankpaddle_time::Time;
 use serde_json::Value;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -16,10 +18,10 @@
 #[cfg(test)]
 mod tests;
 
-/// After a close, the peer gets this long to close too, nanoseconds.
-pub(crate) const CLOSE_TIMEOUT: u64 = 1_000_000_000;
-/// The value of `pinged_at` without a ping since the last message.
-const NOT_PINGED: u64 = 0;
+/// After a close, the peer gets this long to close too.
+pub(crate) const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// The value of [`Player::pinged_at`] without a ping since the last message.
+const NOT_PINGED: Time = Time::ZERO;
 
 /// The number of the next player; numbers are unique in the process.
 static NEXT_PLAYER_ID: AtomicU64 = AtomicU64::new(1);
@@ -34,8 +36,9 @@
     /// Bytes to send, from the event loop and from the connection's own coroutine.
     pub outbox: WriteBuffer,
     calls: Mutex<Calls>,
-    last_received: AtomicU64,
-    pinged_at: AtomicU64,
+    last_received: AtomicTime,
+    /// [`NOT_PINGED`], or the time of the ping that was not answered yet.
+    pinged_at: AtomicTime,
 }
 
 impl Player {
@@ -46,8 +49,8 @@
             version,
             outbox: WriteBuffer::new(socket, most_unread),
             calls: Mutex::default(),
-            last_received: AtomicU64::new(clock::now().as_nanos()),
-            pinged_at: AtomicU64::new(NOT_PINGED),
+            last_received: AtomicTime::new(clock::now()),
+            pinged_at: AtomicTime::new(NOT_PINGED),
         }
     }
 
@@ -95,7 +98,7 @@
         self.send_frame(Frame::close(Some(reason)));
         self.outbox
             .socket()
-            .set_expiry(clock::now() + Duration::from_nanos(CLOSE_TIMEOUT / 2));
+            .set_expiry(clock::now() + CLOSE_TIMEOUT / 2);
     }
 
     /// Queues a WebSocket frame.
@@ -108,16 +111,15 @@
 
     /// Bytes were received: the player is alive.
     pub(crate) fn received(&self) {
-        self.last_received
-            .store(clock::now().as_nanos(), Ordering::Relaxed);
+        self.last_received.store(clock::now(), Ordering::Relaxed);
         self.pinged_at.store(NOT_PINGED, Ordering::Relaxed);
     }
 
-    /// Pings a player that has been silent for `idle_timeout` nanoseconds, and closes one that did not
-    /// answer.
-    pub(crate) fn enforce_idle_timeout(&self, now: u64, idle_timeout: u64) {
+    /// Pings a player that has been silent for `idle_timeout`, and closes one that did not answer.
+    pub(crate) fn enforce_idle_timeout(&self, now: Time, idle_timeout: Duration) {
         let last_received = self.last_received.load(Ordering::Relaxed);
         let pinged_at = self.pinged_at.load(Ordering::Relaxed);
+        let pinged_at = (pinged_at != NOT_PINGED).then_some(pinged_at);
         match idle_action(now, last_received, pinged_at, idle_timeout) {
             IdleAction::Wait => {}
             IdleAction::Ping => {
@@ -140,22 +142,20 @@
     Close,
 }
 
-/// What a player's silence calls for. Times are in nanoseconds; `pinged_at` is [`NOT_PINGED`] or the time of
-/// the ping.
+/// What a player's silence calls for. `pinged_at`: when it was pinged, if it was since its last message.
 ///
 /// Why a ping always comes first: if silence alone counted, every player would be closed when this process
 /// had stalled, and all of them would reconnect at once.
-fn idle_action(now: u64, last_received: u64, pinged_at: u64, idle_timeout: u64) -> IdleAction {
-    let is_older = |time: u64| now.saturating_sub(time) > idle_timeout;
-    if pinged_at == NOT_PINGED {
-        if is_older(last_received) {
-            IdleAction::Ping
-        } else {
-            IdleAction::Wait
-        }
-    } else if is_older(pinged_at) {
-        IdleAction::Close
-    } else {
-        IdleAction::Wait
+fn idle_action(
+    now: Time,
+    last_received: Time,
+    pinged_at: Option<Time>,
+    idle_timeout: Duration,
+) -> IdleAction {
+    let is_timed_out = |since: Time| now.duration_since(since) > idle_timeout;
+    match pinged_at {
+        None if is_timed_out(last_received) => IdleAction::Ping,
+        Some(pinged_at) if is_timed_out(pinged_at) => IdleAction::Close,
+        _ => IdleAction::Wait,
     }
 }
--- a/crates/daemon/src/player_calls.rs
+++ b/crates/daemon/src/player_calls.rs
@@ -3,7 +3,7 @@
 use crate::names;
 use crate::player::Player;
 use crate::shared::Shared;
-use crankpaddle_front::{Call, Input, RequestId, Time};
+use crankpaddle_front::{Call, Input, RequestId};
 use crankpaddle_net::clock;
 use crankpaddle_server_protocol::sessions;
 use crankpaddle_session_api::jsonrpc::{self, Error, Id, Member};
@@ -87,7 +87,7 @@
             Method::Open(open) => Input::Open {
                 call,
                 open: names::open_request(config, open)?,
-                received: Time(clock::now().as_nanos()),
+                received: clock::now(),
             },
             Method::Resume(resume) => Input::Resume {
                 call,
--- a/crates/daemon/src/player_listener.rs
+++ b/crates/daemon/src/player_listener.rs
@@ -21,7 +21,7 @@
     let idle_timeout = shared.limits().idle;
     spawn(Stack::Usual, move || {
         while !is_stopped.load(Ordering::Acquire) {
-            let now = clock::now().as_nanos();
+            let now = clock::now();
             shared.visit_players(|player| player.enforce_idle_timeout(now, idle_timeout));
             sleep(IDLE_CHECK_INTERVAL);
         }
@@ -36,20 +36,19 @@
     if shared.connections() > limits.connections {
         return reject_connection(shared, &socket);
     }
-    socket.set_expiry(clock::now() + Duration::from_nanos(limits.handshake));
+    socket.set_expiry(clock::now() + limits.handshake);
     shared.player_sweeper.watch(&socket);
     let mut exchange = HttpExchange::new(socket.clone());
     loop {
-        let request =
-            match exchange.request(MOST_BODY, Some(Duration::from_nanos(limits.handshake))) {
-                Ok((request, _)) => request,
-                Err(ExchangeError::Bad(reason)) => {
-                    let problem = Problem::of(reason.status(), reason.detail()).response(&[CLOSE]);
-                    let _ = socket.write_all(&problem); // The connection ends in any case.
-                    return socket.finish(Duration::from_nanos(CLOSE_TIMEOUT));
-                }
-                Err(_) => return,
-            };
+        let request = match exchange.request(MOST_BODY, Some(limits.handshake)) {
+            Ok((request, _)) => request,
+            Err(ExchangeError::Bad(reason)) => {
+                let problem = Problem::of(reason.status(), reason.detail()).response(&[CLOSE]);
+                let _ = socket.write_all(&problem); // The connection ends in any case.
+                return socket.finish(CLOSE_TIMEOUT);
+            }
+            Err(_) => return,
+        };
         if websocket_handshake::is_upgrade(&request) {
             match websocket_handshake::accept(&request) {
                 Ok(accepted) => {
@@ -58,16 +57,16 @@
                 }
                 Err(problem) => {
                     let _ = socket.write_all(&problem); // As above.
-                    return socket.finish(Duration::from_nanos(CLOSE_TIMEOUT));
+                    return socket.finish(CLOSE_TIMEOUT);
                 }
             }
         }
         let keeps_alive = request.keeps_alive();
         let response = http_responses::respond(shared, &request);
         if socket.write_all(&response).is_err() || !keeps_alive {
-            return socket.finish(Duration::from_nanos(CLOSE_TIMEOUT));
+            return socket.finish(CLOSE_TIMEOUT);
         }
-        socket.set_expiry(clock::now() + Duration::from_nanos(limits.handshake));
+        socket.set_expiry(clock::now() + limits.handshake);
     }
 }
 
@@ -76,7 +75,7 @@
     let mut problem = Problem::of(503, "the front has as many connections as it may");
     problem.retry_after_ms = Some(shared.config.settings.max_retry_after / MILLISECOND);
     let _ = socket.try_write(&problem.response(&[CLOSE]));
-    socket.finish(Duration::from_nanos(CLOSE_TIMEOUT / 4));
+    socket.finish(CLOSE_TIMEOUT / 4);
 }
 
 /// Counts a connection for as long as it is open, also where its coroutine panics.
--- a/crates/daemon/src/player_session.rs
+++ b/crates/daemon/src/player_session.rs
@@ -74,7 +74,7 @@
         player.send_frame(Frame::close(Some(CloseFrame { code, reason })));
     }
     player.outbox.flush();
-    socket.finish(Duration::from_nanos(CLOSE_TIMEOUT));
+    socket.finish(CLOSE_TIMEOUT);
 }
 
 /// Reads until the connection ends; returns the reason where this side closes it.
--- a/crates/daemon/src/server_connection_state.rs
+++ b/crates/daemon/src/server_connection_state.rs
@@ -5,16 +5,17 @@
 //! notified. The cost: a server cut off from this front alone loses sessions here that still stream there;
 //! they are torn down when it is reached again.
 use crankpaddle_front::AttemptId;
+use crankpaddle_time::Time;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 #[cfg(test)]
 mod tests;
 
-const MILLISECOND: u64 = 1_000_000;
-/// Backoff after the first failed call, nanoseconds.
-const FIRST_BACKOFF: u64 = 50 * MILLISECOND;
-/// Longest backoff, nanoseconds.
-const LONGEST_BACKOFF: u64 = 1000 * MILLISECOND;
+/// Backoff after the first failed call.
+const FIRST_BACKOFF: Duration = Duration::from_millis(50);
+/// Longest backoff.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(1);
 /// Doublings of the backoff that are computed at most: beyond them it is the longest in any case.
 const MOST_DOUBLINGS: u32 = 10;
 
@@ -22,8 +23,7 @@
 struct EstablishedSession {
     /// Its name at the server.
     name: String,
-    /// Clock time, nanoseconds.
-    established_at: u64,
+    established_at: Time,
 }
 
 /// What is known of one server: its incarnation, and the sessions that are established there.
@@ -34,7 +34,7 @@
 }
 
 impl ServerConnectionState {
-    pub(crate) fn session_started(&mut self, attempt: AttemptId, name: String, now: u64) {
+    pub(crate) fn session_started(&mut self, attempt: AttemptId, name: String, now: Time) {
         let session = EstablishedSession {
             name,
             established_at: now,
@@ -73,7 +73,7 @@
         &mut self,
         incarnation: &str,
         session_names: &[String],
-        called_at: u64,
+        called_at: Time,
     ) -> Vec<AttemptId> {
         let is_other = self.is_other_incarnation(incarnation);
         self.incarnation = Some(incarnation.to_owned());
@@ -85,13 +85,13 @@
 
     /// The sessions that were established before a call made at `called_at`; all are lost where the call
     /// showed that the server can't be reached.
-    pub(crate) fn sessions_before(&self, called_at: u64) -> Vec<AttemptId> {
+    pub(crate) fn sessions_before(&self, called_at: Time) -> Vec<AttemptId> {
         self.established_before(called_at, |_| true)
     }
 
     fn established_before(
         &self,
-        called_at: u64,
+        called_at: Time,
         is_wanted: impl Fn(&EstablishedSession) -> bool,
     ) -> Vec<AttemptId> {
         let sessions = self.sessions.iter();
@@ -116,23 +116,23 @@
 /// What follows from a failed call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct FailureVerdict {
-    /// The server counts as lost.
+    /// The server can't be reached, so its sessions are to be ended.
     pub is_lost: bool,
-    /// Backoff before the next call, nanoseconds.
-    pub backoff: u64,
+    /// The pause before the next call; zero: it is made at once.
+    pub backoff: Duration,
 }
 
 /// Tracks whether a server can be reached, over consecutive calls.
 #[derive(Debug)]
 pub(crate) struct ReachabilityTracker {
-    last_received: u64,
-    silence_timeout: u64,
+    last_received: Time,
+    silence_timeout: Duration,
     consecutive_failures: u32,
 }
 
 impl ReachabilityTracker {
-    /// `silence_timeout`: a server that sends nothing for so long is lost, nanoseconds.
-    pub(crate) fn new(now: u64, silence_timeout: u64) -> ReachabilityTracker {
+    /// `silence_timeout`: a server that sends nothing for so long is lost.
+    pub(crate) fn new(now: Time, silence_timeout: Duration) -> ReachabilityTracker {
         ReachabilityTracker {
             last_received: now,
             silence_timeout,
@@ -141,17 +141,17 @@
     }
 
     /// The server's event stream began.
-    pub(crate) fn stream_started(&mut self, now: u64) {
+    pub(crate) fn stream_started(&mut self, now: Time) {
         self.last_received = now;
         self.consecutive_failures = 0;
     }
 
     /// A call failed.
-    pub(crate) fn call_failed(&mut self, now: u64, failure: CallFailure) -> FailureVerdict {
+    pub(crate) fn call_failed(&mut self, now: Time, failure: CallFailure) -> FailureVerdict {
         let is_lost = match failure {
             CallFailure::Refused => true,
             CallFailure::NoResponse => {
-                now.saturating_sub(self.last_received) >= self.silence_timeout
+                now.duration_since(self.last_received) >= self.silence_timeout
             }
             CallFailure::StreamClosed => false,
         };
@@ -161,9 +161,9 @@
     }
 
     /// The first call after a stream ended goes out at once: mostly the connection broke, not the server.
-    fn backoff(&self, failure: CallFailure) -> u64 {
+    fn backoff(&self, failure: CallFailure) -> Duration {
         if failure == CallFailure::StreamClosed && self.consecutive_failures == 0 {
-            return 0;
+            return Duration::ZERO;
         }
         let doublings = self.consecutive_failures.min(MOST_DOUBLINGS);
         FIRST_BACKOFF
--- a/crates/daemon/src/server_connection_state/tests.rs
+++ b/crates/daemon/src/server_connection_state/tests.rs
@@ -1,12 +1,12 @@
 //! Which sessions are lost, and how calls are repeated.
 use super::*;
-const SECOND: u64 = 1000 * MILLISECOND;
+const SECOND: Duration = Duration::from_secs(1);
 
 fn state_with_two_sessions() -> ServerConnectionState {
     let mut state = ServerConnectionState::default();
-    assert!(state.stream_started("one", &[], 0).is_empty());
-    state.session_started(AttemptId(1), "a".into(), 10);
-    state.session_started(AttemptId(2), "b".into(), 20);
+    assert!(state.stream_started("one", &[], Time(0)).is_empty());
+    state.session_started(AttemptId(1), "a".into(), Time(10));
+    state.session_started(AttemptId(2), "b".into(), Time(20));
     state
 }
 
@@ -14,11 +14,11 @@
 fn sessions_that_a_server_does_not_list_are_lost() {
     let mut state = state_with_two_sessions();
     assert_eq!(
-        state.stream_started("one", &["b".into()], 30),
+        state.stream_started("one", &["b".into()], Time(30)),
         [AttemptId(1)]
     );
     assert!(state
-        .stream_started("one", &["a".into(), "b".into()], 30)
+        .stream_started("one", &["a".into(), "b".into()], Time(30))
         .is_empty());
 }
 
@@ -26,7 +26,7 @@
 fn another_incarnation_differs_from_the_first_and_the_same() {
     let mut state = ServerConnectionState::default();
     assert!(!state.is_other_incarnation("one"), "nothing was known");
-    state.stream_started("one", &[], 0);
+    state.stream_started("one", &[], Time(0));
     assert!(!state.is_other_incarnation("one"));
     assert!(state.is_other_incarnation("two"));
 }
@@ -35,7 +35,7 @@
 fn another_incarnation_of_a_server_holds_no_sessions_of_the_old_one() {
     let mut state = state_with_two_sessions();
     assert_eq!(
-        state.stream_started("two", &["a".into(), "b".into()], 30),
+        state.stream_started("two", &["a".into(), "b".into()], Time(30)),
         [AttemptId(1), AttemptId(2)]
     );
 }
@@ -43,44 +43,52 @@
 #[test]
 fn sessions_established_during_a_call_are_not_lost_by_it() {
     let mut state = state_with_two_sessions();
-    assert_eq!(state.stream_started("one", &[], 15), [AttemptId(1)]);
-    assert_eq!(state.sessions_before(15), [AttemptId(1)]);
+    assert_eq!(state.stream_started("one", &[], Time(15)), [AttemptId(1)]);
+    assert_eq!(state.sessions_before(Time(15)), [AttemptId(1)]);
     state.session_ended(AttemptId(1));
-    assert!(state.sessions_before(15).is_empty());
-    assert_eq!(state.sessions_before(99).len(), 1);
+    assert!(state.sessions_before(Time(15)).is_empty());
+    assert_eq!(state.sessions_before(Time(99)).len(), 1);
     assert!(state.has_session(AttemptId(2)));
     assert!(!state.has_session(AttemptId(1)));
 }
 
 #[test]
 fn a_refused_call_loses_the_server_at_once_and_silence_only_after_its_timeout() {
-    let mut tracker = ReachabilityTracker::new(0, 3 * SECOND);
+    let mut tracker = ReachabilityTracker::new(Time(0), 3 * SECOND);
     assert_eq!(
-        tracker.call_failed(SECOND, CallFailure::StreamClosed),
+        tracker.call_failed(Time(0) + SECOND, CallFailure::StreamClosed),
         FailureVerdict {
             is_lost: false,
-            backoff: 0
+            backoff: Duration::ZERO
         }
     );
-    assert!(tracker.call_failed(SECOND, CallFailure::Refused).is_lost);
-    tracker.stream_started(2 * SECOND);
+    assert!(
+        tracker
+            .call_failed(Time(0) + SECOND, CallFailure::Refused)
+            .is_lost
+    );
+    tracker.stream_started(Time(0) + 2 * SECOND);
     assert!(
         !tracker
-            .call_failed(4 * SECOND, CallFailure::NoResponse)
+            .call_failed(Time(0) + 4 * SECOND, CallFailure::NoResponse)
             .is_lost
     );
     assert!(
         tracker
-            .call_failed(5 * SECOND, CallFailure::NoResponse)
+            .call_failed(Time(0) + 5 * SECOND, CallFailure::NoResponse)
             .is_lost
     );
 }
 
 #[test]
 fn backoff_grows_to_a_bound() {
-    let mut tracker = ReachabilityTracker::new(0, SECOND);
-    let backoffs: Vec<u64> = (0..40)
-        .map(|_| tracker.call_failed(0, CallFailure::NoResponse).backoff)
+    let mut tracker = ReachabilityTracker::new(Time(0), SECOND);
+    let backoffs: Vec<Duration> = (0..40)
+        .map(|_| {
+            tracker
+                .call_failed(Time(0), CallFailure::NoResponse)
+                .backoff
+        })
         .collect();
     assert_eq!(backoffs[0], FIRST_BACKOFF);
     assert!(backoffs.windows(2).all(|pair| pair[0] <= pair[1]));
--- a/crates/daemon/src/server_link/controls.rs
+++ b/crates/daemon/src/server_link/controls.rs
@@ -11,8 +11,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// A control is given up after this time, nanoseconds: the server hangs, which its event stream shows.
-const CONTROL_TIMEOUT: u64 = 2_000_000_000;
+/// A control is given up after this time: the server hangs, which its event stream shows.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Backoff after connection attempts that timed out.
 const CONNECT_BACKOFF: [Duration; 5] = [
     Duration::from_millis(100),
@@ -93,7 +93,7 @@
     control: &Control,
 ) -> Option<Arc<Socket>> {
     let request = control.request(&target.address.to_string());
-    socket.set_expiry(clock::now() + Duration::from_nanos(CONTROL_TIMEOUT));
+    socket.set_expiry(clock::now() + CONTROL_TIMEOUT);
     socket.write_all(&request).ok()?;
     let mut exchange = HttpExchange::new(socket.clone());
     let (response, body) = exchange.response(MOST_RESPONSE).ok()?;
@@ -109,6 +109,6 @@
     if !response.keeps_alive() || !exchange.is_clean() {
         return None;
     }
-    socket.set_expiry(clock::now() + Duration::from_nanos(shared.limits().pool_idle));
+    socket.set_expiry(clock::now() + shared.limits().pool_idle);
     Some(socket)
 }
--- a/crates/daemon/src/server_link/mod.rs
+++ b/crates/daemon/src/server_link/mod.rs
@@ -6,14 +6,17 @@
 mod controls;
 mod stream;
 
+use crate::atomic_time::AtomicTime;
 use crate::shared::Shared;
 use controls::{Control, Target};
 use crankpaddle_front::ServerId;
 use crankpaddle_net::{clock, spawn, Socket, Stack};
+use crankpaddle_time::Time;
 use may::sync::mpsc;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, Weak};
+use std::time::Duration;
 
 /// A server as this front reaches it.
 ///
@@ -27,8 +30,8 @@
     pub address: SocketAddr,
     /// Attempts and sessions at the server.
     attempts: AtomicUsize,
-    /// Clock time since when there are none, nanoseconds.
-    idle_since: AtomicU64,
+    /// Since when there are none.
+    idle_since: AtomicTime,
     /// The server's reports are wanted though no session is there.
     is_wanted: AtomicBool,
     /// A coroutine follows the event stream.
@@ -58,7 +61,7 @@
             id,
             address,
             attempts: AtomicUsize::new(0),
-            idle_since: AtomicU64::new(clock::now().as_nanos()),
+            idle_since: AtomicTime::new(clock::now()),
             is_wanted: AtomicBool::new(false),
             is_subscribed: AtomicBool::new(false),
             stream: Mutex::new(Weak::new()),
@@ -73,7 +76,7 @@
     }
 
     /// An attempt or session at the server is over.
-    pub(crate) fn attempt_released(&self, now: u64) {
+    pub(crate) fn attempt_released(&self, now: Time) {
         if self.attempts.fetch_sub(1, Ordering::AcqRel) == 1 {
             self.idle_since.store(now, Ordering::Release);
         }
@@ -113,9 +116,9 @@
         let _ = self.controls.send(control); // The queue's coroutine ends with this sender only.
     }
 
-    /// Closes the event stream if the link has been idle for longer than `idle_timeout`, nanoseconds.
-    pub(crate) fn close_if_idle(&self, now: u64, idle_timeout: u64) {
-        let idle = now.saturating_sub(self.idle_since.load(Ordering::Acquire));
+    /// Closes the event stream if the link has been idle for longer than `idle_timeout`.
+    pub(crate) fn close_if_idle(&self, now: Time, idle_timeout: Duration) {
+        let idle = now.duration_since(self.idle_since.load(Ordering::Acquire));
         if !self.is_idle() || idle <= idle_timeout {
             return;
         }
--- a/crates/daemon/src/server_link/stream.rs
+++ b/crates/daemon/src/server_link/stream.rs
@@ -6,9 +6,9 @@
 use crankpaddle_net::exchange::{Events, ExchangeError, HttpExchange};
 use crankpaddle_net::{clock, sleep, Socket};
 use crankpaddle_server_protocol::event_stream::{self, ServerEvent};
+use crankpaddle_time::Time;
 use std::io::{self, ErrorKind};
 use std::sync::Arc;
-use std::time::Duration;
 
 /// The status of a response that carries an event stream.
 const OK: u16 = 200;
@@ -16,23 +16,22 @@
 impl ServerLink {
     /// Calls the server again and again, and passes its events to the event loop, until the link is idle.
     pub(super) fn follow_stream(&self, shared: &Shared) {
-        let mut reachability =
-            ReachabilityTracker::new(clock::now().as_nanos(), shared.limits().silence);
+        let mut reachability = ReachabilityTracker::new(clock::now(), shared.limits().silence);
         loop {
-            let called_at = clock::now().as_nanos();
+            let called_at = clock::now();
             let failure = match self.call(shared) {
                 Ok(events) => self.read_events(shared, events, called_at, &mut reachability),
                 Err(failure) => failure,
             };
-            let verdict = reachability.call_failed(clock::now().as_nanos(), failure);
+            let verdict = reachability.call_failed(clock::now(), failure);
             if verdict.is_lost {
                 shared.send_from_server(self.id, ServerMessage::Unreachable { called_at });
             }
             if self.unsubscribe_if_idle() {
                 return;
             }
-            if verdict.backoff > 0 {
-                sleep(Duration::from_nanos(verdict.backoff));
+            if !verdict.backoff.is_zero() {
+                sleep(verdict.backoff);
             }
         }
     }
@@ -41,7 +40,7 @@
         let socket = Socket::connect(&self.address, shared.connect_timeout());
         let socket = Arc::new(socket.map_err(|error| connect_failure(&error))?);
         let silence_timeout = shared.limits().silence;
-        socket.set_expiry(clock::now() + Duration::from_nanos(silence_timeout));
+        socket.set_expiry(clock::now() + silence_timeout);
         shared.server_sweeper.watch(&socket);
         self.set_stream_socket(&socket);
         let request = event_stream::subscribe(&self.address.to_string(), shared.names.front());
@@ -53,7 +52,7 @@
         if head.status != OK {
             return Err(CallFailure::NoResponse);
         }
-        let events = exchange.events(&head, Duration::from_nanos(silence_timeout));
+        let events = exchange.events(&head, silence_timeout);
         events.map_err(|_| CallFailure::NoResponse)
     }
 
@@ -62,7 +61,7 @@
         &self,
         shared: &Shared,
         mut events: Events,
-        called_at: u64,
+        called_at: Time,
         reachability: &mut ReachabilityTracker,
     ) -> CallFailure {
         let mut has_started = false;
@@ -75,7 +74,7 @@
                 Ok(Some(ServerEvent::StreamStart(start))) => {
                     let message = ServerMessage::StreamStarted { start, called_at };
                     shared.send_from_server(self.id, message);
-                    reachability.stream_started(clock::now().as_nanos());
+                    reachability.stream_started(clock::now());
                     has_started = true;
                 }
                 Ok(Some(event)) => self.pass_event(shared, event),
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -102,7 +102,7 @@
 
     /// How long a connection to a server may take.
     pub(crate) fn connect_timeout(&self) -> Duration {
-        Duration::from_nanos(self.config.limits.connect)
+        self.config.limits.connect
     }
 
     /// A connection was accepted.
--- a/crates/testbed/src/fleet/processes.rs
+++ b/crates/testbed/src/fleet/processes.rs
@@ -118,7 +118,7 @@
         for front in fronts.iter().copied() {
             self.views.runs(front, None);
         }
-        let drain = Duration::from_nanos(self.stage.config.limits.drain);
+        let drain = self.stage.config.limits.drain;
         end_all(ending.iter_mut(), drain + PROCESS_END_GRACE)
     }
 
--- a/crates/testbed/src/scenario_runner/mod.rs
+++ b/crates/testbed/src/scenario_runner/mod.rs
@@ -155,7 +155,7 @@
     }
     // Why: the fronts are ended before the result of the run is looked at, so that none is left behind.
     let mut faults = Vec::new();
-    let within = Duration::from_nanos(config.limits.drain) + PROCESS_END_GRACE;
+    let within = config.limits.drain + PROCESS_END_GRACE;
     faults.extend(end_all(fronts.iter_mut().map(|f| &mut f.process), within)?);
     faults.extend(run_result?);
     let records = stage.recorder.all();
