--- a/crates/daemon/src/event_loop/mod.rs
+++ b/crates/daemon/src/event_loop/mod.rs
@@ -33,7 +33,7 @@
 use crate::recovered_state::OpenedState;
 use crate::server_connection_state::ServerConnectionState;
 use crate::server_link::ServerLink;
-use crate::shared::Shared;
+use crate::shared::{Counts, Shared};
 use crate::traffic::TrafficAccounting;
 use crankpaddle_cross_zone_traffic::report::TrafficReport;
 use crankpaddle_front::{AttemptId, Core, EndpointListKind, Input, Output, PlayerId, ServerId};
@@ -167,8 +167,10 @@
             self.advance_shutdown();
             self.core.expire(clock::now(), &mut self.outputs);
             self.perform_outputs();
-            self.shared
-                .publish_counts(self.core.waiting(), self.core.playing());
+            self.shared.publish_counts(Counts {
+                waiting: self.core.waiting(),
+                playing: self.core.playing(),
+            });
         }
         self.finish()
     }
--- a/crates/daemon/src/http_responses.rs
+++ b/crates/daemon/src/http_responses.rs
@@ -85,14 +85,15 @@
     fn health(&self) -> Vec<u8> {
         let shared = self.shared;
         let is_draining = shared.is_draining();
+        let counts = shared.counts();
         let health = Health {
             state: if is_draining {
                 State::Draining
             } else {
                 State::Ready
             },
-            waiting: shared.waiting() as u64,
-            playing: shared.playing() as u64,
+            waiting: counts.waiting as u64,
+            playing: counts.playing as u64,
             connections: shared.connections() as u64,
         };
         let body = serde_json::to_string(&health).unwrap_or_default();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -56,6 +56,7 @@
 use membership_runner::OpenedMembership;
 use message::Message;
 use recovered_state::OpenedState;
+pub use shared::Counts;
 use shared::Shared;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -181,10 +182,10 @@
         let _ = TcpStream::connect(self.address);
     }
 
-    /// Requests without an answer, and established sessions.
+    /// The work in progress, as the event loop last published it.
     #[must_use]
-    pub fn counts(&self) -> (usize, usize) {
-        (self.shared.waiting(), self.shared.playing())
+    pub fn counts(&self) -> Counts {
+        self.shared.counts()
     }
 }
 
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -22,6 +22,15 @@
 /// Connections of players are swept this often: their deadlines are seconds, and there are many.
 const PLAYER_SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
+/// A front's work in progress at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests without an answer.
+    pub waiting: usize,
+    /// Established sessions.
+    pub playing: usize,
+}
+
 /// State that the coroutines of a front share.
 pub(crate) struct Shared {
     pub config: Config,
@@ -120,20 +129,18 @@
         self.connections.load(Ordering::Relaxed)
     }
 
-    /// Publishes the core's counts: requests without an answer, and established sessions.
-    pub(crate) fn publish_counts(&self, waiting: usize, playing: usize) {
-        self.waiting.store(waiting, Ordering::Relaxed);
-        self.playing.store(playing, Ordering::Relaxed);
+    /// Publishes the core's counts.
+    pub(crate) fn publish_counts(&self, counts: Counts) {
+        self.waiting.store(counts.waiting, Ordering::Relaxed);
+        self.playing.store(counts.playing, Ordering::Relaxed);
     }
 
-    /// Requests without an answer, as last published.
-    pub(crate) fn waiting(&self) -> usize {
-        self.waiting.load(Ordering::Relaxed)
-    }
-
-    /// Established sessions, as last published.
-    pub(crate) fn playing(&self) -> usize {
-        self.playing.load(Ordering::Relaxed)
+    /// The counts as last published.
+    pub(crate) fn counts(&self) -> Counts {
+        Counts {
+            waiting: self.waiting.load(Ordering::Relaxed),
+            playing: self.playing.load(Ordering::Relaxed),
+        }
     }
 
     /// The front is draining from now on; this is never taken back.
--- a/crates/daemon/tests/edges/calls.rs
+++ b/crates/daemon/tests/edges/calls.rs
@@ -1,5 +1,6 @@
 //! Malformed calls, and batches of calls.
-use crate::support::{wait_until, Harness, PAID};
+use crate::support::{wait_until, Harness, IDLE, PAID};
+use crankpaddle_daemon::Counts;
 use crankpaddle_session_api::client::{self, ClientEvent};
 use tungstenite::Message;
 
@@ -81,7 +82,7 @@
     assert_eq!(ids, (0..1000).collect::<Vec<u64>>());
     drop(player);
     wait_until("all to end", || {
-        harness.daemon.counts() == (0, 0) && harness.fleet.streams() == 0
+        harness.daemon.counts() == IDLE && harness.fleet.streams() == 0
     });
     assert_eq!(harness.verdict().breaches, []);
 }
@@ -104,12 +105,20 @@
         harness.fleet.streams() > 0 && harness.set_ups_and_bills("ordered-1").1 == 1
     });
     // Its server is lost while the batch still waits for the other answer.
-    wait_until("the front to know", || harness.daemon.counts() == (1, 1));
+    wait_until("the front to know", || {
+        harness.daemon.counts()
+            == Counts {
+                waiting: 1,
+                playing: 1,
+            }
+    });
     for id in 1..4 {
         harness.fleet.crash(id);
     }
     // The other may have timed out by then, on a slow machine; the order is the same.
-    wait_until("the front to see it", || harness.daemon.counts().1 == 0);
+    wait_until("the front to see it", || {
+        harness.daemon.counts().playing == 0
+    });
     let Message::Text(first) = player.socket.read().unwrap() else {
         panic!()
     };
--- a/crates/daemon/tests/set_ups.rs
+++ b/crates/daemon/tests/set_ups.rs
@@ -1,9 +1,10 @@
 //! Servers that misbehave during a set-up, and players that disconnect during one.
 mod support;
+use crankpaddle_daemon::Counts;
 use crankpaddle_session_api::client::ClientEvent;
 use crankpaddle_testbed::record::{Reply, Seen};
 use std::time::{Duration, Instant};
-use support::{wait_until, Harness, FREE, PAID};
+use support::{wait_until, Harness, FREE, IDLE, PAID};
 
 fn reason(event: &ClientEvent) -> &str {
     match event {
@@ -62,7 +63,7 @@
             harness.daemon.counts(),
             harness.set_ups_and_bills("late-paid").0
         ),
-        ((0, 0), 1)
+        (IDLE, 1)
     );
 }
 
@@ -126,7 +127,11 @@
     );
     assert_eq!(harness.set_ups_and_bills("reconnects"), (1, 1));
     assert!(second.is_silent(Duration::from_millis(200)));
-    assert_eq!(harness.daemon.counts(), (0, 1));
+    let one_session = Counts {
+        waiting: 0,
+        playing: 1,
+    };
+    assert_eq!(harness.daemon.counts(), one_session);
 }
 
 #[test]
@@ -143,7 +148,7 @@
         drop(player);
         harness.set_modes(|mode| mode.hangs = false);
         wait_until("the session to end", || {
-            harness.daemon.counts() == (0, 0) && harness.fleet.streams() == 0
+            harness.daemon.counts() == IDLE && harness.fleet.streams() == 0
         });
         assert_eq!(harness.set_ups_and_bills(&key).0, 1);
     }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -5,6 +5,7 @@
 mod player;
 
 pub(crate) use backend::{fleet_text, front_text, start_fleet, start_list_service, Backend};
+use crankpaddle_daemon::Counts;
 pub(crate) use harness::Harness;
 pub(crate) use player::Player;
 use std::time::{Duration, Instant};
@@ -16,6 +17,12 @@
 /// Nothing here takes longer unless something is broken.
 pub(crate) const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The counts of a front without any work.
+pub(crate) const IDLE: Counts = Counts {
+    waiting: 0,
+    playing: 0,
+};
+
 /// Waits until a condition holds, polling it; fails after [`TEST_TIMEOUT`].
 pub(crate) fn wait_until(what: &str, mut is_met: impl FnMut() -> bool) {
     let deadline = Instant::now() + TEST_TIMEOUT;
--- a/crates/daemon/tests/traffic.rs
+++ b/crates/daemon/tests/traffic.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
-use support::{wait_until, Harness, FREE, PAID, TEST_TIMEOUT};
+use support::{wait_until, Harness, FREE, IDLE, PAID, TEST_TIMEOUT};
 
 /// A budget that one session exceeds.
 const TIGHT: (&str, &str) = (
@@ -102,7 +102,7 @@
             .change(entry(&harness.config, id, address, EndpointState::Gone, 0));
     }
     wait_until("the sessions to be over", || {
-        harness.daemon.counts() == (0, 0)
+        harness.daemon.counts() == IDLE
     });
     wait_until("the front to see that its zone is lost", || {
         open_sessions(
@@ -142,8 +142,7 @@
     fetch_some(&media);
     player.close_session(&session);
     wait_until("all to be settled", || {
-        harness.daemon.counts() == (0, 0)
-            && report(harness.daemon.address()).unsettled_sessions == 0
+        harness.daemon.counts() == IDLE && report(harness.daemon.address()).unsettled_sessions == 0
     });
     let logged = crossed(&harness.recorder.all(), &harness.config);
     let reported = report(harness.daemon.address());
