Config, server protocol: durations in the checks and the list's start times

Cause: the checks turned nanoseconds into Durations one by one, and the start of a listed server was computed by hand. Change: the checks of limits and classes read Durations; to_endpoint adds a Duration to the clock's origin, saturating as before. A comment in http says what a message with two lengths leads to.

--- a/crates/config/src/check/classes.rs
+++ b/crates/config/src/check/classes.rs
@@ -3,13 +3,14 @@
 use super::ConfigChecker;
 use crate::schema;
 use crankpaddle::{Class, Idempotency, RetryScope};
+use std::time::Duration;
 
 /// The classes in the order of their numbers.
 pub(super) struct Classes {
     pub(super) names: Vec<String>,
     pub(super) classes: Vec<Class>,
-    /// How long a viewer of each class waits for an answer at most, nanoseconds.
-    pub(super) max_wait: Vec<u64>,
+    /// How long a viewer of each class waits for an answer at most.
+    pub(super) max_wait: Vec<Duration>,
 }
 
 impl ConfigChecker<'_, '_> {
@@ -20,7 +21,8 @@
         let mut max_wait = Vec::with_capacity(raw.len());
         for (index, class) in raw.iter().enumerate() {
             let checked = self.class(index, class, ladder.rung_count());
-            max_wait.push(self.max_wait(index, class, checked.latency_objective));
+            let latency_objective = Duration::from_nanos(checked.latency_objective);
+            max_wait.push(self.max_wait(index, class, latency_objective));
             classes.push(checked);
         }
         Classes {
@@ -68,9 +70,14 @@
         }
     }
 
-    fn max_wait(&mut self, index: usize, class: &schema::Class, latency_objective: u64) -> u64 {
+    fn max_wait(
+        &mut self,
+        index: usize,
+        class: &schema::Class,
+        latency_objective: Duration,
+    ) -> Duration {
         let path = format!("class[{index}].give_up");
-        let max_wait = self.time(&path, class.give_up());
+        let max_wait = self.duration(&path, class.give_up());
         self.must(
             max_wait >= latency_objective || class.give_up().is_empty(),
             &path,
--- a/crates/config/src/check/limits.rs
+++ b/crates/config/src/check/limits.rs
@@ -10,19 +10,19 @@
 const MAX_CONNECTIONS: u32 = 10_000_000;
 
 impl ConfigChecker<'_, '_> {
-    /// The core's configuration; `max_wait` by class, in nanoseconds.
+    /// The core's configuration; `max_wait` by class.
     pub(super) fn core(
         &mut self,
         limits: &schema::Limits,
         store: Option<&schema::Store>,
-        max_wait: Vec<u64>,
+        max_wait: Vec<Duration>,
     ) -> CoreConfig {
-        let answer_margin = self.time("limits.answer_margin", limits.answer_margin());
+        let answer_margin = self.duration("limits.answer_margin", limits.answer_margin());
         self.answer_margin_fits(answer_margin, &max_wait);
         CoreConfig {
-            max_wait: max_wait.into_iter().map(Duration::from_nanos).collect(),
-            answer_margin: Duration::from_nanos(answer_margin),
-            resume_window: Duration::from_nanos(self.time("limits.resume", limits.resume())),
+            max_wait,
+            answer_margin,
+            resume_window: self.duration("limits.resume", limits.resume()),
             recovered_resume_window: self.recovered_resume_window(store),
             max_pending: self.count(
                 "limits.open_requests",
@@ -36,7 +36,7 @@
                 1,
                 MAX_PENDING_PER_PLAYER,
             ) as usize,
-            key_retention: Duration::from_nanos(self.time("limits.keep_keys", limits.keep_keys())),
+            key_retention: self.duration("limits.keep_keys", limits.keep_keys()),
             max_retained_keys: self.count(
                 "limits.keys_kept",
                 limits.keys_kept(),
@@ -46,10 +46,10 @@
         }
     }
 
-    fn answer_margin_fits(&mut self, answer_margin: u64, max_wait: &[u64]) {
+    fn answer_margin_fits(&mut self, answer_margin: Duration, max_wait: &[Duration]) {
         for (i, max_wait) in max_wait.iter().enumerate() {
             self.must(
-                answer_margin <= max_wait / 2,
+                answer_margin <= *max_wait / 2,
                 &format!("class[{i}].give_up"),
                 "is under twice limits.answer_margin(): no time is left to set a session up",
             );
@@ -59,7 +59,7 @@
     /// How long a session that a server held over a restart waits for its viewer.
     fn recovered_resume_window(&mut self, store: Option<&schema::Store>) -> Duration {
         store.map_or(Duration::ZERO, |store| {
-            Duration::from_nanos(self.time("store[0].back", store.back()))
+            self.duration("store[0].back", store.back())
         })
     }
 
--- a/crates/config/src/check/tenants.rs
+++ b/crates/config/src/check/tenants.rs
@@ -1,4 +1,4 @@
-//! The sections `tenant`: who shares the fleet.
+//! The sections `tenant`: the tenants that share the fleet, and their quotas.
 use super::ConfigChecker;
 use crate::schema;
 
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -179,8 +179,8 @@
 
     /// How its body is framed.
     ///
-    /// Why both fields together are rejected: a length that can be read in two ways smuggles a second request past
-    /// whoever reads it the other way (RFC 9112, 6.3).
+    /// Why both fields together are rejected: where an intermediary takes one length and this reader the other, the
+    /// rest of the body is read as a second request that the intermediary never checked (RFC 9112, 6.3).
     ///
     /// # Errors
     /// Fields that contradict each other or an unsupported coding.
--- a/crates/server-protocol/src/list.rs
+++ b/crates/server-protocol/src/list.rs
@@ -5,12 +5,12 @@
 use crankpaddle_http::sse::{self, Event};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Event type of a full list.
 const FULL_EVENT: &str = "full";
 /// Event type of a list that holds only what changed.
 const DELTA_EVENT: &str = "delta";
-const NANOSECONDS_PER_MILLISECOND: u64 = 1_000_000;
 
 /// State of a server on the wire.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -52,7 +52,7 @@
     #[must_use]
     pub fn to_endpoint(&self, zones: &[String], kinds: &[String]) -> Option<Endpoint> {
         let index = |names: &[String], name: &str| names.iter().position(|known| known == name);
-        let started_at = self.started_ms.saturating_mul(NANOSECONDS_PER_MILLISECOND);
+        let started_at = Time::ZERO + Duration::from_millis(self.started_ms);
         Some(Endpoint {
             server: ServerId(self.id),
             zone: index(zones, &self.zone)? as u8,
@@ -64,7 +64,7 @@
                 EndpointState::Gone => Lifecycle::Removed,
             },
             weight: self.weight,
-            started_at: Time(started_at),
+            started_at,
         })
     }
 }
