Daemon: one exponential backoff, stream failures by name, docs that say what a message reports

Cause: the backoff was written twice; a call was both a player's method call and a request for a server's event stream; docs of messages named the situation but not the event; player_listener::serve held the handshake and its rejection. CallFailure and called_at become StreamFailure and requested_at. Limits in bytes are MAX_..._BYTES. serve is split into steps, names.rs looks names up by index_of, and the docs of messages state events.

--- a/crates/daemon/src/attempt_sender.rs
+++ b/crates/daemon/src/attempt_sender.rs
@@ -9,8 +9,8 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
-/// Bytes of a response's body at most.
-const MOST_RESPONSE: u64 = 64 * 1024;
+/// Largest body of a response.
+const MAX_RESPONSE_BYTES: u64 = 64 * 1024;
 
 /// A set-up that is ready to be sent.
 pub(crate) struct SetUpRequest {
@@ -88,7 +88,7 @@
         });
     }
     let mut exchange = HttpExchange::new(socket.clone());
-    let (response, body) = match exchange.response(MOST_RESPONSE) {
+    let (response, body) = match exchange.response(MAX_RESPONSE_BYTES) {
         Ok(answer) => answer,
         Err(ExchangeError::Closed | ExchangeError::Broken) => return ended(AttemptOutcome::Reset),
         Err(ExchangeError::Bad(_)) => return ended(AttemptOutcome::ServerError),
--- a/crates/daemon/src/event_loop/server_messages.rs
+++ b/crates/daemon/src/event_loop/server_messages.rs
@@ -12,11 +12,16 @@
 impl EventLoop {
     pub(super) fn handle_server_message(&mut self, server: ServerId, message: ServerMessage) {
         match message {
-            ServerMessage::StreamStarted { start, called_at } => {
-                self.stream_started(server, &start, called_at);
+            ServerMessage::StreamStarted {
+                start,
+                requested_at,
+            } => {
+                self.stream_started(server, &start, requested_at);
             }
             ServerMessage::StreamClosed => self.stream_closed(server),
-            ServerMessage::Unreachable { called_at } => self.server_unreachable(server, called_at),
+            ServerMessage::Unreachable { requested_at } => {
+                self.server_unreachable(server, requested_at);
+            }
             ServerMessage::SessionUpdated {
                 session_name,
                 updates,
@@ -42,7 +47,7 @@
         }
     }
 
-    fn stream_started(&mut self, server: ServerId, start: &StreamStart, called_at: Time) {
+    fn stream_started(&mut self, server: ServerId, start: &StreamStart, requested_at: Time) {
         self.traffic
             .controller
             .server_connected(server.0, clock::now().as_nanos());
@@ -52,7 +57,7 @@
         };
         let lost = state
             .connection
-            .stream_started(&start.boot, &start.sessions, called_at);
+            .stream_started(&start.boot, &start.sessions, requested_at);
         self.tear_down_unknown_sessions(server, &start.sessions);
         self.sessions_lost(lost);
         self.retry_reconciliation(server);
@@ -131,11 +136,11 @@
 
     /// Ends the sessions of a server that can't be reached.
     ///
-    /// Why it also counts as started now while the list service is unavailable: it may have started
-    /// milliseconds ago, and this front, whose calls failed until then, waits before it calls again. A server
+    /// Why its start is also set to now while the list service is unavailable: it may have started
+    /// milliseconds ago, and this front, whose requests failed until then, pauses before the next one. A server
     /// that can't be reached is not warmed up, and nobody else reports its start. The cost: a server cut off
     /// from this front alone starts slowly when it can be reached again.
-    fn server_unreachable(&mut self, server: ServerId, called_at: Time) {
+    fn server_unreachable(&mut self, server: ServerId, requested_at: Time) {
         self.traffic.controller.server_lost(server.0);
         if self.is_list_unavailable {
             self.server_started(server, clock::now());
@@ -143,7 +148,7 @@
         let lost = self
             .servers
             .get(&server)
-            .map(|state| state.connection.sessions_before(called_at))
+            .map(|state| state.connection.sessions_before(requested_at))
             .unwrap_or_default();
         if !lost.is_empty() {
             tracing::warn!(
--- a/crates/daemon/src/inventory_client.rs
+++ b/crates/daemon/src/inventory_client.rs
@@ -10,8 +10,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Bytes of an inventory at most: some hundred thousand bills.
-const MOST_INVENTORY: u64 = 16 << 20;
+/// Largest inventory: some hundred thousand bills.
+const MAX_INVENTORY_BYTES: u64 = 16 << 20;
 /// The status of a response that carries an inventory.
 const OK: u16 = 200;
 
@@ -61,7 +61,9 @@
     socket.set_expiry(clock::now() + Duration::from_nanos(timeout));
     shared.server_sweeper.watch(&socket);
     socket.write_all(request).ok()?;
-    let (response, body) = HttpExchange::new(socket).response(MOST_INVENTORY).ok()?;
+    let (response, body) = HttpExchange::new(socket)
+        .response(MAX_INVENTORY_BYTES)
+        .ok()?;
     Some(ServerResponse {
         status: response.status,
         body,
--- a/crates/daemon/src/list_service_client.rs
+++ b/crates/daemon/src/list_service_client.rs
@@ -1,5 +1,6 @@
 //! The subscription to the list service, and the copy of the list on disk that a front starts from without
 //! the service.
+use crate::backoff::ExponentialBackoff;
 use crate::errors::{SavedFileError, StartError};
 use crate::message::Message;
 use crate::shared::Shared;
@@ -14,16 +15,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Backoff after the first failed call; half of it is random, so that fronts do not call at the same time.
-const FIRST_BACKOFF: Duration = Duration::from_millis(100);
-/// Longest backoff.
-const LONGEST_BACKOFF: Duration = Duration::from_secs(2);
-/// Doublings of the backoff that are computed at most: beyond them it is the longest in any case.
-const MOST_DOUBLINGS: u32 = 8;
+const BACKOFF: ExponentialBackoff = ExponentialBackoff {
+    initial: Duration::from_millis(100),
+    max: Duration::from_secs(2),
+};
 /// The status of a response that carries a stream of lists.
 const OK: u16 = 200;
 
-/// The service can't be reached, or sent nothing that could be read.
+/// The service can't be reached, or sent no list that could be parsed.
 struct NoListReceived;
 
 /// The list as a previous incarnation saved it, if there is one. A malformed copy is ignored: the service
@@ -65,17 +64,14 @@
                 Ok(()) => 0,
                 Err(NoListReceived) => consecutive_failures + 1,
             };
-            sleep(backoff(consecutive_failures));
+            sleep(backoff_with_jitter(consecutive_failures));
         }
     });
 }
 
-fn backoff(consecutive_failures: u32) -> Duration {
-    let doublings = consecutive_failures.min(MOST_DOUBLINGS);
-    let longest = FIRST_BACKOFF
-        .saturating_mul(1 << doublings)
-        .min(LONGEST_BACKOFF);
-    let longest = nanoseconds(longest);
+/// The backoff with half of it random, so that fronts do not reconnect at the same time.
+fn backoff_with_jitter(consecutive_failures: u32) -> Duration {
+    let longest = nanoseconds(BACKOFF.pause(consecutive_failures));
     Duration::from_nanos(rand::random_range(longest / 2..=longest))
 }
 
@@ -100,7 +96,7 @@
             }
             Ok(None) => {} // A kind that a later release of the service sends.
             // Why it ends here: after a change that can't be read, later ones would apply to the wrong list.
-            // The next call gets a complete one.
+            // A new subscription starts with a full list.
             Err(reason) => {
                 tracing::warn!(%reason, "list service stream malformed");
                 return result;
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -15,7 +15,7 @@
 
 /// An event for the event loop. Times are of [`crankpaddle_net::clock`].
 pub(crate) enum Message {
-    /// A player connected.
+    /// A player's WebSocket connection was established.
     PlayerConnected { player: Arc<Player> },
     /// A player called a method that the core decides on.
     PlayerRequest { input: Input },
@@ -31,38 +31,41 @@
         server: ServerId,
         message: ServerMessage,
     },
-    /// The budgets of this configuration apply from now on.
+    /// An operator changed the budgets: those of this configuration replace the ones in force.
     BudgetsChanged { config: Box<Config> },
-    /// The traffic report is requested.
+    /// The traffic report was requested; it is sent to `reply` as JSON.
     TrafficReportRequested { reply: mpsc::Sender<String> },
-    /// The list service sent a list.
+    /// The list service sent an endpoint list, full or a delta.
     EndpointListReceived {
         kind: EndpointListKind,
         list: EndpointListBody,
     },
-    /// The list service can't be reached.
+    /// The subscription to the list service failed or ended.
     EndpointListUnavailable,
-    /// The intent of an attempt was written to the store, or the write failed.
+    /// The store wrote the intent of an attempt, or failed to: then `is_durable` is false.
     IntentWritten {
         attempt: AttemptId,
         is_durable: bool,
     },
-    /// The state of recovery is requested; the reply is `None` where no store is configured.
+    /// The status of recovery was requested; `None` is sent to `reply` where no store is configured.
     FleetStatusRequested { reply: mpsc::Sender<Option<Fleet>> },
     /// The number of known fronts changed; this front is included.
     FleetSizeChanged { fronts: u32 },
-    /// The front shall drain and stop.
+    /// A graceful shutdown was requested.
     DrainRequested,
 }
 
-/// What one server sent, or that it could not be reached. Sessions and attempts are named as the server knows them.
+/// An event of one server. Sessions and attempts have their names at the server.
 pub(crate) enum ServerMessage {
-    /// Its event stream began, in response to a call made at `called_at`.
-    StreamStarted { start: StreamStart, called_at: Time },
+    /// Its event stream began, in response to a request sent at `requested_at`.
+    StreamStarted {
+        start: StreamStart,
+        requested_at: Time,
+    },
     /// It closed its event stream; it was alive until now.
     StreamClosed,
-    /// It can't be reached, as a call made at `called_at` showed.
-    Unreachable { called_at: Time },
+    /// It can't be reached, as a request sent at `requested_at` showed: its sessions are ended.
+    Unreachable { requested_at: Time },
     /// It reported updates of a session.
     SessionUpdated {
         session_name: String,
@@ -82,11 +85,11 @@
         session_name: String,
         sent_bytes: u64,
     },
-    /// It answered with the sessions that it holds and ran for this front.
+    /// It sent its inventory of this front's sessions.
     InventoryReceived { inventory: SessionInventory },
     /// Its inventory could not be fetched.
     InventoryUnavailable,
-    /// An attempt of a previous incarnation was fenced there, or that could not be confirmed.
+    /// An attempt of a previous incarnation was fenced there, or the server did not confirm it.
     FenceCompleted {
         attempt_name: String,
         is_confirmed: bool,
--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/names.rs
@@ -1,4 +1,5 @@
 //! Names of attempts at servers, and the configured names that players use in their calls.
+use crate::config_lookup::index_of;
 use crankpaddle_config::Config;
 use crankpaddle_front::{AttemptId, OpenRequest};
 use crankpaddle_server_protocol::sessions;
@@ -54,9 +55,10 @@
         }
         return Err(unknown_name(Named::Tenant, ""));
     };
-    let index = config.tenants.iter().position(|tenant| tenant == name);
-    let index = index.ok_or_else(|| unknown_name(Named::Tenant, name))?;
-    Ok(index as u16)
+    match index_of(&config.tenants, name) {
+        Some(index) => Ok(index as u16),
+        None => Err(unknown_name(Named::Tenant, name)),
+    }
 }
 
 /// A player's request in the core's terms.
@@ -68,7 +70,7 @@
         .titles
         .get(&open.title)
         .ok_or_else(|| unknown_name(Named::Title, &open.title))?;
-    let class = config.classes.iter().position(|class| *class == open.class);
+    let class = index_of(&config.classes, &open.class);
     let class = class.ok_or_else(|| unknown_name(Named::Class, &open.class))?;
     Ok(OpenRequest {
         tenant: tenant(config, open.tenant.as_deref())?,
@@ -82,7 +84,7 @@
         duration_hint: open.hint_ms.map(Duration::from_millis),
         is_retry: open.again,
         is_migration: false, // The core knows by the key.
-        // Neither the core nor a disk needs what the player alone may know.
+        // A digest: the key itself gives access to the session, and neither the core nor the store needs it.
         key: sessions::bill(&open.key),
     })
 }
--- a/crates/daemon/src/player.rs
+++ b/crates/daemon/src/player.rs
@@ -42,12 +42,12 @@
 }
 
 impl Player {
-    /// A player that has just connected. `most_unread`: bytes that may wait to be sent.
-    pub(crate) fn new(socket: Arc<Socket>, version: Version, most_unread: usize) -> Player {
+    /// A player that has just connected. `max_unread`: bytes that may wait to be sent.
+    pub(crate) fn new(socket: Arc<Socket>, version: Version, max_unread: usize) -> Player {
         Player {
             id: PlayerId(NEXT_PLAYER_ID.fetch_add(1, Ordering::Relaxed)),
             version,
-            outbox: WriteBuffer::new(socket, most_unread),
+            outbox: WriteBuffer::new(socket, max_unread),
             calls: Mutex::default(),
             last_received: AtomicTime::new(clock::now()),
             pinged_at: AtomicTime::new(NOT_PINGED),
--- a/crates/daemon/src/player_calls.rs
+++ b/crates/daemon/src/player_calls.rs
@@ -110,7 +110,7 @@
         }
     }
 
-    /// The answers of a batch go back together, so none may wait longer than the most impatient viewer in it.
+    /// The answers of a batch go back together, so none may wait longer than the shortest wait in it.
     fn limit_batch_wait(&self, inputs: &mut [Input]) {
         let waits = inputs.iter().map(|input| self.wait_limit(input));
         let shortest = waits.min().unwrap_or(Duration::MAX);
--- a/crates/daemon/src/player_listener.rs
+++ b/crates/daemon/src/player_listener.rs
@@ -3,6 +3,7 @@
 use crate::player::CLOSE_TIMEOUT;
 use crate::shared::Shared;
 use crate::{player_session, websocket_handshake};
+use crankpaddle_http::head::Request;
 use crankpaddle_http::problem::Problem;
 use crankpaddle_net::exchange::{ExchangeError, HttpExchange};
 use crankpaddle_net::{clock, sleep, spawn, Socket, Stack};
@@ -10,8 +11,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Bytes of a request's body at most.
-const MOST_BODY: u64 = 64 * 1024;
+/// Largest body of a request.
+const MAX_BODY_BYTES: u64 = 64 * 1024;
 /// Idle players are looked for this often: the timeout is tens of seconds.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 const MILLISECOND: u64 = 1_000_000;
@@ -40,26 +41,16 @@
     shared.player_sweeper.watch(&socket);
     let mut exchange = HttpExchange::new(socket.clone());
     loop {
-        let request = match exchange.request(MOST_BODY, Some(limits.handshake)) {
+        let request = match exchange.request(MAX_BODY_BYTES, Some(limits.handshake)) {
             Ok((request, _)) => request,
             Err(ExchangeError::Bad(reason)) => {
-                let problem = Problem::of(reason.status(), reason.detail()).response(&[CLOSE]);
-                let _ = socket.write_all(&problem); // The connection ends in any case.
-                return socket.finish(CLOSE_TIMEOUT);
+                let problem = Problem::of(reason.status(), reason.detail());
+                return send_last(&socket, &problem.response(&[CLOSE]));
             }
             Err(_) => return,
         };
         if websocket_handshake::is_upgrade(&request) {
-            match websocket_handshake::accept(&request) {
-                Ok(accepted) => {
-                    let unread = exchange.into_rest();
-                    return player_session::serve(shared, &socket, unread, &accepted);
-                }
-                Err(problem) => {
-                    let _ = socket.write_all(&problem); // As above.
-                    return socket.finish(CLOSE_TIMEOUT);
-                }
-            }
+            return upgrade(shared, &socket, exchange, &request);
         }
         let keeps_alive = request.keeps_alive();
         let response = http_responses::respond(shared, &request);
@@ -70,6 +61,23 @@
     }
 }
 
+/// Upgrades a connection to WebSocket and serves it until it ends, or rejects the handshake.
+fn upgrade(shared: &Arc<Shared>, socket: &Arc<Socket>, exchange: HttpExchange, request: &Request) {
+    match websocket_handshake::accept(request) {
+        Ok(accepted) => {
+            let unread = exchange.into_rest();
+            player_session::serve(shared, socket, unread, &accepted);
+        }
+        Err(rejection) => send_last(socket, &rejection),
+    }
+}
+
+/// Sends a connection's last response and closes it.
+fn send_last(socket: &Arc<Socket>, response: &[u8]) {
+    let _ = socket.write_all(response); // The connection ends in any case.
+    socket.finish(CLOSE_TIMEOUT);
+}
+
 /// Load shedding: the response goes out at once or not at all, and the connection is closed early.
 fn reject_connection(shared: &Shared, socket: &Arc<Socket>) {
     let mut problem = Problem::of(503, "the front has as many connections as it may");
--- a/crates/daemon/src/player_session.rs
+++ b/crates/daemon/src/player_session.rs
@@ -17,9 +17,9 @@
 use tungstenite::Message as WebSocketMessage;
 
 /// Bytes read at once; each connection has a buffer of this size.
-const READ_BUFFER: usize = 1024;
-/// Characters of a protocol error that fit a close frame: its reason has 123 bytes at most.
-const MOST_REASON: usize = 100;
+const READ_BUFFER_BYTES: usize = 1024;
+/// Longest text of a protocol error in a close frame, whose reason has 123 bytes at most.
+const MAX_REASON_CHARACTERS: usize = 100;
 /// While the event loop has a backlog, a connection waits this long before it reads on.
 const BACKLOG_PAUSE: Duration = Duration::from_millis(1);
 
@@ -62,7 +62,7 @@
     };
     player.outbox.push(&handshake.response);
     let config = WebSocketConfig::default()
-        .read_buffer_size(READ_BUFFER)
+        .read_buffer_size(READ_BUFFER_BYTES)
         .write_buffer_size(0)
         .max_message_size(Some(limits.message))
         .max_frame_size(Some(limits.message));
@@ -112,7 +112,11 @@
             Some(CloseReason::new(CloseCode::Invalid, "a text is UTF-8"))
         }
         tungstenite::Error::Protocol(violation) => {
-            let text: String = violation.to_string().chars().take(MOST_REASON).collect();
+            let text: String = violation
+                .to_string()
+                .chars()
+                .take(MAX_REASON_CHARACTERS)
+                .collect();
             Some(CloseReason::new(CloseCode::Protocol, text))
         }
         _ => None,
--- a/crates/daemon/src/server_connection_state.rs
+++ b/crates/daemon/src/server_connection_state.rs
@@ -4,6 +4,7 @@
 //! three: a lost session that goes unnoticed occupies its capacity for ever, and its viewer is never
 //! notified. The cost: a server cut off from this front alone loses sessions here that still stream there;
 //! they are torn down when it is reached again.
+use crate::backoff::ExponentialBackoff;
 use crankpaddle_front::AttemptId;
 use crankpaddle_time::Time;
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,12 +13,10 @@
 #[cfg(test)]
 mod tests;
 
-/// Backoff after the first failed call.
-const FIRST_BACKOFF: Duration = Duration::from_millis(50);
-/// Longest backoff.
-const LONGEST_BACKOFF: Duration = Duration::from_secs(1);
-/// Doublings of the backoff that are computed at most: beyond them it is the longest in any case.
-const MOST_DOUBLINGS: u32 = 10;
+const BACKOFF: ExponentialBackoff = ExponentialBackoff {
+    initial: Duration::from_millis(50),
+    max: Duration::from_secs(1),
+};
 
 #[derive(Debug)]
 struct EstablishedSession {
@@ -66,46 +65,46 @@
         self.incarnation().is_some_and(|known| known != incarnation)
     }
 
-    /// The server's event stream began with the sessions that it holds, in response to a call made at
-    /// `called_at`. Returns the sessions that are lost. One that was established during the call may be
-    /// missing there and is not.
+    /// The server's event stream began with a list of the sessions that it holds, in response to a request
+    /// sent at `requested_at`. Returns the sessions that are lost. A session that was established after the
+    /// request may be missing from the list and is not lost.
     pub(crate) fn stream_started(
         &mut self,
         incarnation: &str,
         session_names: &[String],
-        called_at: Time,
+        requested_at: Time,
     ) -> Vec<AttemptId> {
         let is_other = self.is_other_incarnation(incarnation);
         self.incarnation = Some(incarnation.to_owned());
         let listed: BTreeSet<&str> = session_names.iter().map(String::as_str).collect();
-        self.established_before(called_at, |session| {
+        self.established_before(requested_at, |session| {
             is_other || !listed.contains(session.name.as_str())
         })
     }
 
-    /// The sessions that were established before a call made at `called_at`; all are lost where the call
-    /// showed that the server can't be reached.
-    pub(crate) fn sessions_before(&self, called_at: Time) -> Vec<AttemptId> {
-        self.established_before(called_at, |_| true)
+    /// The sessions that were established before a request sent at `requested_at`: the lost ones where the
+    /// request showed that the server can't be reached.
+    pub(crate) fn sessions_before(&self, requested_at: Time) -> Vec<AttemptId> {
+        self.established_before(requested_at, |_| true)
     }
 
     fn established_before(
         &self,
-        called_at: Time,
+        requested_at: Time,
         is_wanted: impl Fn(&EstablishedSession) -> bool,
     ) -> Vec<AttemptId> {
         let sessions = self.sessions.iter();
         sessions
-            .filter(|(_, session)| session.established_at < called_at && is_wanted(session))
+            .filter(|(_, session)| session.established_at < requested_at && is_wanted(session))
             .map(|(attempt, _)| *attempt)
             .collect()
     }
 }
 
-/// How a call for a server's event stream failed.
+/// How a server's event stream failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum CallFailure {
-    /// Refused or reset: no process listens there.
+pub(crate) enum StreamFailure {
+    /// The connection was refused or reset: no process listens there.
     Refused,
     /// No response: the server may be slow or cut off.
     NoResponse,
@@ -113,16 +112,16 @@
     StreamClosed,
 }
 
-/// What follows from a failed call.
+/// What is done about a failed event stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct FailureVerdict {
     /// The server can't be reached, so its sessions are to be ended.
     pub is_lost: bool,
-    /// The pause before the next call; zero: it is made at once.
+    /// The pause before the next request; zero: it is sent at once.
     pub backoff: Duration,
 }
 
-/// Tracks whether a server can be reached, over consecutive calls.
+/// Tracks whether a server can be reached, over consecutive requests for its event stream.
 #[derive(Debug)]
 pub(crate) struct ReachabilityTracker {
     last_received: Time,
@@ -146,28 +145,25 @@
         self.consecutive_failures = 0;
     }
 
-    /// A call failed.
-    pub(crate) fn call_failed(&mut self, now: Time, failure: CallFailure) -> FailureVerdict {
+    /// The event stream could not be opened, or ended.
+    pub(crate) fn stream_failed(&mut self, now: Time, failure: StreamFailure) -> FailureVerdict {
         let is_lost = match failure {
-            CallFailure::Refused => true,
-            CallFailure::NoResponse => {
+            StreamFailure::Refused => true,
+            StreamFailure::NoResponse => {
                 now.duration_since(self.last_received) >= self.silence_timeout
             }
-            CallFailure::StreamClosed => false,
+            StreamFailure::StreamClosed => false,
         };
         let backoff = self.backoff(failure);
         self.consecutive_failures += 1;
         FailureVerdict { is_lost, backoff }
     }
 
-    /// The first call after a stream ended goes out at once: mostly the connection broke, not the server.
-    fn backoff(&self, failure: CallFailure) -> Duration {
-        if failure == CallFailure::StreamClosed && self.consecutive_failures == 0 {
+    /// After a stream that had begun there is no pause: mostly the connection failed, not the server.
+    fn backoff(&self, failure: StreamFailure) -> Duration {
+        if failure == StreamFailure::StreamClosed && self.consecutive_failures == 0 {
             return Duration::ZERO;
         }
-        let doublings = self.consecutive_failures.min(MOST_DOUBLINGS);
-        FIRST_BACKOFF
-            .saturating_mul(1 << doublings)
-            .min(LONGEST_BACKOFF)
+        BACKOFF.pause(self.consecutive_failures)
     }
 }
--- a/crates/daemon/src/server_connection_state/tests.rs
+++ b/crates/daemon/src/server_connection_state/tests.rs
@@ -1,4 +1,4 @@
-//! Which sessions are lost, and how calls are repeated.
+//! Which sessions are lost, and when a failed event stream is requested again.
 use super::*;
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -41,7 +41,7 @@
 }
 
 #[test]
-fn sessions_established_during_a_call_are_not_lost_by_it() {
+fn sessions_established_after_the_request_are_not_lost() {
     let mut state = state_with_two_sessions();
     assert_eq!(state.stream_started("one", &[], Time(15)), [AttemptId(1)]);
     assert_eq!(state.sessions_before(Time(15)), [AttemptId(1)]);
@@ -53,10 +53,10 @@
 }
 
 #[test]
-fn a_refused_call_loses_the_server_at_once_and_silence_only_after_its_timeout() {
+fn a_refused_connection_loses_the_server_at_once_and_silence_only_after_its_timeout() {
     let mut tracker = ReachabilityTracker::new(Time(0), 3 * SECOND);
     assert_eq!(
-        tracker.call_failed(Time(0) + SECOND, CallFailure::StreamClosed),
+        tracker.stream_failed(Time(0) + SECOND, StreamFailure::StreamClosed),
         FailureVerdict {
             is_lost: false,
             backoff: Duration::ZERO
@@ -64,18 +64,18 @@
     );
     assert!(
         tracker
-            .call_failed(Time(0) + SECOND, CallFailure::Refused)
+            .stream_failed(Time(0) + SECOND, StreamFailure::Refused)
             .is_lost
     );
     tracker.stream_started(Time(0) + 2 * SECOND);
     assert!(
         !tracker
-            .call_failed(Time(0) + 4 * SECOND, CallFailure::NoResponse)
+            .stream_failed(Time(0) + 4 * SECOND, StreamFailure::NoResponse)
             .is_lost
     );
     assert!(
         tracker
-            .call_failed(Time(0) + 5 * SECOND, CallFailure::NoResponse)
+            .stream_failed(Time(0) + 5 * SECOND, StreamFailure::NoResponse)
             .is_lost
     );
 }
@@ -86,11 +86,11 @@
     let backoffs: Vec<Duration> = (0..40)
         .map(|_| {
             tracker
-                .call_failed(Time(0), CallFailure::NoResponse)
+                .stream_failed(Time(0), StreamFailure::NoResponse)
                 .backoff
         })
         .collect();
-    assert_eq!(backoffs[0], FIRST_BACKOFF);
+    assert_eq!(backoffs[0], BACKOFF.initial);
     assert!(backoffs.windows(2).all(|pair| pair[0] <= pair[1]));
-    assert_eq!(backoffs[39], LONGEST_BACKOFF);
+    assert_eq!(backoffs[39], BACKOFF.max);
 }
--- a/crates/daemon/src/server_link/controls.rs
+++ b/crates/daemon/src/server_link/controls.rs
@@ -21,8 +21,8 @@
     Duration::from_millis(800),
     Duration::from_millis(1600),
 ];
-/// Bytes of a response's body at most.
-const MOST_RESPONSE: u64 = 64 * 1024;
+/// Largest body of a response.
+const MAX_RESPONSE_BYTES: u64 = 64 * 1024;
 
 /// The server that controls go to.
 pub(super) struct Target {
@@ -96,7 +96,7 @@
     socket.set_expiry(clock::now() + CONTROL_TIMEOUT);
     socket.write_all(&request).ok()?;
     let mut exchange = HttpExchange::new(socket.clone());
-    let (response, body) = exchange.response(MOST_RESPONSE).ok()?;
+    let (response, body) = exchange.response(MAX_RESPONSE_BYTES).ok()?;
     if let Control::TearDown { session_name } = control {
         if let Some(ended) = sessions::tear_down_answer(&response, &body) {
             let message = ServerMessage::TearDownCompleted {
--- a/crates/daemon/src/server_link/mod.rs
+++ b/crates/daemon/src/server_link/mod.rs
@@ -1,7 +1,7 @@
 //! This front's link to one server: the subscription to its event stream, and the queue of controls for its
 //! sessions.
 //!
-//! - `stream`: calls the server for its event stream and passes its events to the event loop;
+//! - `stream`: subscribes to the server's event stream and passes its events to the event loop;
 //! - `controls`: sends rung changes and teardowns, in their order.
 mod controls;
 mod stream;
--- a/crates/daemon/src/server_link/stream.rs
+++ b/crates/daemon/src/server_link/stream.rs
@@ -1,7 +1,7 @@
 //! The subscription to a server's event stream.
 use super::ServerLink;
 use crate::message::ServerMessage;
-use crate::server_connection_state::{CallFailure, ReachabilityTracker};
+use crate::server_connection_state::{ReachabilityTracker, StreamFailure};
 use crate::shared::Shared;
 use crankpaddle_net::exchange::{Events, ExchangeError, HttpExchange};
 use crankpaddle_net::{clock, sleep, Socket};
@@ -14,18 +14,19 @@
 const OK: u16 = 200;
 
 impl ServerLink {
-    /// Calls the server again and again, and passes its events to the event loop, until the link is idle.
+    /// Follows the server's event stream, reopens it when it ends, and passes its events to the event loop,
+    /// until the link is idle.
     pub(super) fn follow_stream(&self, shared: &Shared) {
         let mut reachability = ReachabilityTracker::new(clock::now(), shared.limits().silence);
         loop {
-            let called_at = clock::now();
-            let failure = match self.call(shared) {
-                Ok(events) => self.read_events(shared, events, called_at, &mut reachability),
+            let requested_at = clock::now();
+            let failure = match self.open_stream(shared) {
+                Ok(events) => self.read_events(shared, events, requested_at, &mut reachability),
                 Err(failure) => failure,
             };
-            let verdict = reachability.call_failed(clock::now(), failure);
+            let verdict = reachability.stream_failed(clock::now(), failure);
             if verdict.is_lost {
-                shared.send_from_server(self.id, ServerMessage::Unreachable { called_at });
+                shared.send_from_server(self.id, ServerMessage::Unreachable { requested_at });
             }
             if self.unsubscribe_if_idle() {
                 return;
@@ -36,7 +37,7 @@
         }
     }
 
-    fn call(&self, shared: &Shared) -> Result<Events, CallFailure> {
+    fn open_stream(&self, shared: &Shared) -> Result<Events, StreamFailure> {
         let socket = Socket::connect(&self.address, shared.connect_timeout());
         let socket = Arc::new(socket.map_err(|error| connect_failure(&error))?);
         let silence_timeout = shared.limits().silence;
@@ -45,15 +46,15 @@
         self.set_stream_socket(&socket);
         let request = event_stream::subscribe(&self.address.to_string(), shared.names.front());
         let sent = socket.write_all(&request);
-        sent.map_err(|_| CallFailure::NoResponse)?;
+        sent.map_err(|_| StreamFailure::NoResponse)?;
         let mut exchange = HttpExchange::new(socket);
         let head = exchange.response_head();
-        let head = head.map_err(|_| CallFailure::NoResponse)?;
+        let head = head.map_err(|_| StreamFailure::NoResponse)?;
         if head.status != OK {
-            return Err(CallFailure::NoResponse);
+            return Err(StreamFailure::NoResponse);
         }
         let events = exchange.events(&head, silence_timeout);
-        events.map_err(|_| CallFailure::NoResponse)
+        events.map_err(|_| StreamFailure::NoResponse)
     }
 
     /// Reads events until the stream ends; returns how it ended.
@@ -61,9 +62,9 @@
         &self,
         shared: &Shared,
         mut events: Events,
-        called_at: Time,
+        requested_at: Time,
         reachability: &mut ReachabilityTracker,
-    ) -> CallFailure {
+    ) -> StreamFailure {
         let mut has_started = false;
         loop {
             let event = match events.next() {
@@ -72,7 +73,10 @@
             };
             match event_stream::read(&event) {
                 Ok(Some(ServerEvent::StreamStart(start))) => {
-                    let message = ServerMessage::StreamStarted { start, called_at };
+                    let message = ServerMessage::StreamStarted {
+                        start,
+                        requested_at,
+                    };
                     shared.send_from_server(self.id, message);
                     reachability.stream_started(clock::now());
                     has_started = true;
@@ -110,19 +114,19 @@
         shared: &Shared,
         error: &ExchangeError,
         has_started: bool,
-    ) -> CallFailure {
+    ) -> StreamFailure {
         if let ExchangeError::Bad(reason) = error {
             self.log_malformed(&reason.to_string());
         }
         if !has_started {
-            return CallFailure::NoResponse;
+            return StreamFailure::NoResponse;
         }
         // A connection that this front closed, or that expired, shows nothing of the server.
         let socket = self.stream_socket();
         if socket.is_some_and(|socket| !socket.is_closed()) {
             shared.send_from_server(self.id, ServerMessage::StreamClosed);
         }
-        CallFailure::StreamClosed
+        StreamFailure::StreamClosed
     }
 
     fn log_malformed(&self, reason: &str) {
@@ -130,9 +134,9 @@
     }
 }
 
-fn connect_failure(error: &io::Error) -> CallFailure {
+fn connect_failure(error: &io::Error) -> StreamFailure {
     match error.kind() {
-        ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => CallFailure::Refused,
-        _ => CallFailure::NoResponse,
+        ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => StreamFailure::Refused,
+        _ => StreamFailure::NoResponse,
     }
 }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -98,7 +98,7 @@
         self.queued_requests.fetch_sub(1, Ordering::Relaxed);
     }
 
-    /// Whether players sent more requests than the event loop should have before it.
+    /// Whether the event loop's queue holds too many requests of players.
     pub(crate) fn has_request_backlog(&self) -> bool {
         let most = self.config.terms.max_pending.saturating_mul(2);
         self.queued_requests.load(Ordering::Relaxed) > most
@@ -171,7 +171,7 @@
         self.pending_controls.load(Ordering::Acquire) > 0
     }
 
-    /// Has a player's idle time watched until it is dropped.
+    /// Adds a player to those of [`Shared::visit_players`], until it is dropped.
     pub(crate) fn register_player(&self, player: &Arc<Player>) {
         self.players
             .lock()
