Session API, server protocol, http: public functions named by what they do

Cause: names such as Method::of, of_offers, bill, set_up_answer and Calls::wait needed their docs to be understood. Change: Method::parse, Version::negotiate, answers::notification, Calls::add_pending, sessions::billing_key, parse_set_up_response, parse_tear_down_response, Fields::has_token, Problem::new; call sites follow. Wire names stay.

--- a/crates/api/src/cost.rs
+++ b/crates/api/src/cost.rs
@@ -24,7 +24,7 @@
     let read = || drop(black_box(jsonrpc::read(black_box(CALL))));
     let checked = || {
         if let Message::One(Ok(call)) = jsonrpc::read(black_box(CALL)) {
-            let _ = black_box(Method::of(&call.method, call.params)); // Its verdict is not what is measured.
+            let _ = black_box(Method::parse(&call.method, call.params)); // Its verdict is not what is measured.
         }
     };
     let by_schema = || {
--- a/crates/api/tests/codec.rs
+++ b/crates/api/tests/codec.rs
@@ -12,7 +12,7 @@
 fn codec_takes(text: &str) -> bool {
     match jsonrpc::read(text) {
         Message::One(Ok(call)) => {
-            call.id.is_some() && Method::of(&call.method, call.params).is_ok()
+            call.id.is_some() && Method::parse(&call.method, call.params).is_ok()
         }
         _ => false,
     }
--- a/crates/benchmark/src/relay.rs
+++ b/crates/benchmark/src/relay.rs
@@ -158,7 +158,7 @@
         let (name, session) = (format!("relayed-{number:x}"), format!("s-{number}"));
         let body = SetUpBody {
             front: "relay".into(),
-            bill: sessions::bill(&text("key")),
+            bill: sessions::billing_key(&text("key")),
             title: text("title"),
             class: text("class"),
             tenant: String::new(),
--- a/crates/cli/tests/power_harness/mod.rs
+++ b/crates/cli/tests/power_harness/mod.rs
@@ -3,7 +3,7 @@
 
 use crate::support::{KEY, TIMEOUT};
 use crankpaddle_config::Config;
-use crankpaddle_server_protocol::sessions::bill;
+use crankpaddle_server_protocol::sessions::billing_key;
 use crankpaddle_testbed::list_service::{entry, EndpointState, ListService};
 use crankpaddle_testbed::process::Process;
 use crankpaddle_testbed::record::{Recorder, Seen};
@@ -124,7 +124,7 @@
     }
 
     pub(crate) fn counts_of(&self, key: &str) -> KeyCounts {
-        let label = bill(key);
+        let label = billing_key(key);
         KeyCounts {
             sent: self.recorded(|seen| matches!(seen, Seen::SetUp { bill, .. } if *bill == label)),
             billed: self
--- a/crates/daemon/src/attempt_sender.rs
+++ b/crates/daemon/src/attempt_sender.rs
@@ -97,7 +97,7 @@
         let idle_timeout = shared.limits().pool_idle;
         shared.pool.put(request.address, socket, idle_timeout);
     }
-    sessions::set_up_answer(&response, &body)
+    sessions::parse_set_up_response(&response, &body)
 }
 
 /// An idle connection to the server, or a new one.
--- a/crates/daemon/src/event_loop/outputs.rs
+++ b/crates/daemon/src/event_loop/outputs.rs
@@ -100,7 +100,7 @@
             "player notified"
         );
         if let Some(player) = self.players.get(&player) {
-            player.notify(session, answers::notice(session, notification));
+            player.notify(session, answers::notification(session, notification));
         }
     }
 
--- a/crates/daemon/src/http_responses.rs
+++ b/crates/daemon/src/http_responses.rs
@@ -151,7 +151,7 @@
     fn problem(&self, status: u16, detail: &str, fields: &[Field<'_>]) -> Vec<u8> {
         let mut all = vec![self.connection];
         all.extend_from_slice(fields);
-        Problem::of(status, detail).response(&all)
+        Problem::new(status, detail).response(&all)
     }
 }
 
--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/names.rs
@@ -85,7 +85,7 @@
         is_retry: open.again,
         is_migration: false, // The core knows by the key.
         // A digest: the key itself gives access to the session, and neither the core nor the store needs it.
-        key: sessions::bill(&open.key),
+        key: sessions::billing_key(&open.key),
     })
 }
 
--- a/crates/daemon/src/player_calls.rs
+++ b/crates/daemon/src/player_calls.rs
@@ -59,14 +59,14 @@
             }
         };
         let number = self.last_number;
-        let method = Method::of(&call.method, call.params);
+        let method = Method::parse(&call.method, call.params);
         let input = method.and_then(|method| self.input(number, method));
         match (input, call.id) {
             // A set-up without an answer would play for nobody.
             (Ok(Input::Open { .. } | Input::Resume { .. }), None) => None,
             (Ok(input), None) => Some(input),
             (Ok(input), Some(id)) => {
-                self.player.calls().wait(number, id, batch);
+                self.player.calls().add_pending(number, id, batch);
                 Some(input)
             }
             (Err(error), Some(id)) => {
@@ -93,7 +93,7 @@
             Method::Resume(resume) => Input::Resume {
                 call,
                 tenant: names::tenant(config, resume.tenant.as_deref())?,
-                key: sessions::bill(&resume.key),
+                key: sessions::billing_key(&resume.key),
             },
             Method::Close(close) => Input::Close {
                 call,
--- a/crates/daemon/src/player_listener.rs
+++ b/crates/daemon/src/player_listener.rs
@@ -44,7 +44,7 @@
         let request = match exchange.request(MAX_BODY_BYTES, Some(limits.handshake)) {
             Ok((request, _)) => request,
             Err(ExchangeError::Bad(reason)) => {
-                let problem = Problem::of(reason.status(), reason.detail());
+                let problem = Problem::new(reason.status(), reason.detail());
                 return send_last(&socket, &problem.response(&[CLOSE]));
             }
             Err(_) => return,
@@ -80,7 +80,7 @@
 
 /// Load shedding: the response goes out at once or not at all, and the connection is closed early.
 fn reject_connection(shared: &Shared, socket: &Arc<Socket>) {
-    let mut problem = Problem::of(503, "the front has as many connections as it may");
+    let mut problem = Problem::new(503, "the front has as many connections as it may");
     problem.retry_after_ms = Some(shared.config.settings.max_retry_after / MILLISECOND);
     let _ = socket.try_write(&problem.response(&[CLOSE]));
     socket.finish(CLOSE_TIMEOUT / 4);
--- a/crates/daemon/src/server_link/controls.rs
+++ b/crates/daemon/src/server_link/controls.rs
@@ -98,7 +98,7 @@
     let mut exchange = HttpExchange::new(socket.clone());
     let (response, body) = exchange.response(MAX_RESPONSE_BYTES).ok()?;
     if let Control::TearDown { session_name } = control {
-        if let Some(ended) = sessions::tear_down_answer(&response, &body) {
+        if let Some(ended) = sessions::parse_tear_down_response(&response, &body) {
             let message = ServerMessage::TearDownCompleted {
                 session_name: session_name.clone(),
                 sent_bytes: ended.sent_bytes,
--- a/crates/daemon/src/websocket_handshake.rs
+++ b/crates/daemon/src/websocket_handshake.rs
@@ -21,8 +21,8 @@
 
 /// Whether a request asks for an upgrade to WebSocket.
 pub(crate) fn is_upgrade(request: &Request) -> bool {
-    request.fields.has_word("upgrade", "websocket")
-        && request.fields.has_word("connection", "upgrade")
+    request.fields.has_token("upgrade", "websocket")
+        && request.fields.has_token("connection", "upgrade")
 }
 
 /// Accepts a handshake.
@@ -71,7 +71,7 @@
 /// The version that is chosen from the offered subprotocols; `None` where none is offered.
 fn subprotocol(request: &Request) -> Result<Option<Version>, Vec<u8>> {
     let offers = request.fields.all("sec-websocket-protocol");
-    let chosen = Version::of_offers(offers.flat_map(|field| field.split(',')));
+    let chosen = Version::negotiate(offers.flat_map(|field| field.split(',')));
     let has_offers = request.fields.get("sec-websocket-protocol").is_some();
     if has_offers && chosen.is_none() {
         let known = Version::SERVED.map(Version::subprotocol).join(", ");
@@ -87,5 +87,5 @@
     if status == 426 {
         fields.push(("sec-websocket-version", WEBSOCKET_VERSION));
     }
-    Problem::of(status, detail).response(&fields)
+    Problem::new(status, detail).response(&fields)
 }
--- a/crates/daemon/tests/set_ups.rs
+++ b/crates/daemon/tests/set_ups.rs
@@ -248,7 +248,7 @@
     };
     let set_up_at = |record: &crankpaddle_testbed::record::Record| match &record.seen {
         Seen::SetUp { server, bill, .. }
-            if *bill == crankpaddle_server_protocol::sessions::bill("lost-later") =>
+            if *bill == crankpaddle_server_protocol::sessions::billing_key("lost-later") =>
         {
             Some(*server)
         }
--- a/crates/daemon/tests/support/harness.rs
+++ b/crates/daemon/tests/support/harness.rs
@@ -92,7 +92,7 @@
 
     /// How often the session with this key was set up, and how often it was billed.
     pub(crate) fn set_ups_and_bills(&self, key: &str) -> (usize, usize) {
-        let label = crankpaddle_server_protocol::sessions::bill(key);
+        let label = crankpaddle_server_protocol::sessions::billing_key(key);
         let set_ups =
             self.count_seen(|seen| matches!(seen, Seen::SetUp { bill, .. } if *bill == label));
         let bills =
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -36,10 +36,10 @@
 
     /// Whether a comma-separated field has this member, compared without case.
     #[must_use]
-    pub fn has_word(&self, name: &str, word: &str) -> bool {
+    pub fn has_token(&self, name: &str, token: &str) -> bool {
         self.all(name)
             .flat_map(|value| value.split(','))
-            .any(|member| member.trim().eq_ignore_ascii_case(word))
+            .any(|member| member.trim().eq_ignore_ascii_case(token))
     }
 
     fn read(headers: &[httparse::Header<'_>]) -> Result<Fields, HttpError> {
@@ -54,9 +54,9 @@
     /// Whether a connection with a message of this minor version and these fields may carry another one.
     fn keep_alive(&self, minor: u8) -> bool {
         if minor == 0 {
-            self.has_word("connection", "keep-alive")
+            self.has_token("connection", "keep-alive")
         } else {
-            !self.has_word("connection", "close")
+            !self.has_token("connection", "close")
         }
     }
 
--- a/crates/http/src/problem.rs
+++ b/crates/http/src/problem.rs
@@ -35,7 +35,7 @@
 impl Problem {
     /// A problem without a type of its own: its title is the status's reason phrase.
     #[must_use]
-    pub fn of(status: u16, detail: impl Into<String>) -> Problem {
+    pub fn new(status: u16, detail: impl Into<String>) -> Problem {
         Problem {
             kind: blank(),
             title: head::reason(status).to_owned(),
--- a/crates/server-protocol/src/sessions.rs
+++ b/crates/server-protocol/src/sessions.rs
@@ -27,7 +27,7 @@
 pub struct SetUpBody {
     /// The requesting front; updates on the session go to the stream that it opened under this name.
     pub front: String,
-    /// The billing key (see [`bill`]): the same for all attempts for one session.
+    /// The billing key (see [`billing_key`]): the same for all attempts for one session.
     pub bill: String,
     /// Title by name.
     pub title: String,
@@ -59,7 +59,7 @@
 
 /// The billing key of the session with this idempotency key: a digest, so that nobody can resume the session by it.
 #[must_use]
-pub fn bill(key: &str) -> String {
+pub fn billing_key(key: &str) -> String {
     hex_prefix(&Sha256::digest(key.as_bytes()))
 }
 
@@ -117,7 +117,7 @@
 
 /// The result in a teardown's response; `None` where the server held no such session, or counts no bytes.
 #[must_use]
-pub fn tear_down_answer(response: &Response, body: &[u8]) -> Option<TearDownResult> {
+pub fn parse_tear_down_response(response: &Response, body: &[u8]) -> Option<TearDownResult> {
     if response.status != 200 {
         return None;
     }
@@ -150,7 +150,7 @@
 
 /// The result of a set-up, from its complete response.
 #[must_use]
-pub fn set_up_answer(response: &Response, body: &[u8]) -> SetUpResult {
+pub fn parse_set_up_response(response: &Response, body: &[u8]) -> SetUpResult {
     let report = load_report(response);
     match response.status {
         200 | 201 => SetUpResult::Started(report),
--- a/crates/server-protocol/src/sessions/tests.rs
+++ b/crates/server-protocol/src/sessions/tests.rs
@@ -2,7 +2,7 @@
 
 fn answer(text: &str) -> SetUpResult {
     let (response, at) = Response::parse(text.as_bytes()).unwrap().unwrap();
-    set_up_answer(&response, &text.as_bytes()[at..])
+    parse_set_up_response(&response, &text.as_bytes()[at..])
 }
 
 #[test]
--- a/crates/server-protocol/tests/wire.rs
+++ b/crates/server-protocol/tests/wire.rs
@@ -59,7 +59,7 @@
     assert_round_trips::<sessions::TearDownResult>(&[r#"{"sent_bytes":12345}"#]);
     let answer = |head: &str| {
         let (response, _) = Response::parse(head.as_bytes()).unwrap().unwrap();
-        sessions::tear_down_answer(&response, br#"{"sent_bytes":7}"#).map(|e| e.sent_bytes)
+        sessions::parse_tear_down_response(&response, br#"{"sent_bytes":7}"#).map(|e| e.sent_bytes)
     };
     assert_eq!(answer("HTTP/1.1 200 OK\r\n\r\n"), Some(7));
     assert_eq!(answer("HTTP/1.1 404 Not Found\r\n\r\n"), None);
@@ -70,7 +70,7 @@
     assert_eq!(sessions::media_path("s-1"), "/sessions/s-1/media");
     assert_eq!(sessions::FULL, "urn:crankpaddle:problem:full");
     assert_eq!(
-        sessions::bill("key-0001"),
+        sessions::billing_key("key-0001"),
         "1c1994d97561115e8778171182abce03"
     );
     assert_eq!(
--- a/crates/session-api/src/answers.rs
+++ b/crates/session-api/src/answers.rs
@@ -116,9 +116,9 @@
 
 /// A notification to the player of a session.
 #[must_use]
-pub fn notice(session: RequestId, notice: Notification) -> Value {
+pub fn notification(session: RequestId, notification: Notification) -> Value {
     let session = session_name(session.0);
-    match notice {
+    match notification {
         Notification::RungChanged(rung) => {
             jsonrpc::notification("session.rung", to_json(RungChanged { session, rung }))
         }
--- a/crates/session-api/src/calls.rs
+++ b/crates/session-api/src/calls.rs
@@ -68,7 +68,7 @@
     }
 
     /// Adds a call that is answered later.
-    pub fn wait(&mut self, number: u64, id: Id, batch: Option<u64>) {
+    pub fn add_pending(&mut self, number: u64, id: Id, batch: Option<u64>) {
         self.pending.push(PendingCall { number, id, batch });
     }
 
--- a/crates/session-api/src/calls/tests.rs
+++ b/crates/session-api/src/calls/tests.rs
@@ -8,7 +8,7 @@
 #[test]
 fn single_answers_go_out_at_once_and_only_for_pending_calls() {
     let mut calls = Calls::default();
-    calls.wait(1, id(7), None);
+    calls.add_pending(1, id(7), None);
     assert!(calls.answer(2, None, |_| json!("x")).is_empty());
     assert_eq!(
         calls.answer(1, Some(5), |id| json!({"id": id})),
@@ -22,8 +22,8 @@
 fn notifications_of_a_session_follow_the_batch_that_makes_it_known() {
     let mut calls = Calls::default();
     calls.begin(1, 3);
-    calls.wait(1, id(1), Some(1));
-    calls.wait(2, id(2), Some(1));
+    calls.add_pending(1, id(1), Some(1));
+    calls.add_pending(2, id(2), Some(1));
     assert!(calls
         .answer_directly(Some(1), None, json!("malformed"))
         .is_empty());
@@ -52,8 +52,8 @@
     let mut calls = Calls::default();
     for batch in [1, 2] {
         calls.begin(batch, 2);
-        calls.wait(batch * 10, id(batch), Some(batch));
-        calls.wait(batch * 10 + 1, id(batch), Some(batch));
+        calls.add_pending(batch * 10, id(batch), Some(batch));
+        calls.add_pending(batch * 10 + 1, id(batch), Some(batch));
     }
     calls.answer(10, Some(1), |_| json!(1));
     calls.answer(20, Some(2), |_| json!(2));
--- a/crates/session-api/src/client/tests.rs
+++ b/crates/session-api/src/client/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::answers::{answer, notice};
+use crate::answers::{answer, notification};
 use crate::jsonrpc::{self, Id, Message};
 use crate::methods::{session_number, Method};
 use crate::Version;
@@ -22,7 +22,7 @@
         panic!()
     };
     assert_eq!(
-        Method::of(&call.method, call.params),
+        Method::parse(&call.method, call.params),
         Ok(Method::Open(params))
     );
     for (method, params) in [
@@ -39,13 +39,13 @@
         ("session.resume", json!({"key": "x".repeat(129)})),
     ] {
         assert_eq!(
-            Method::of(method, params.clone()).unwrap_err().code,
+            Method::parse(method, params.clone()).unwrap_err().code,
             jsonrpc::INVALID_PARAMS,
             "{params}"
         );
     }
     assert_eq!(
-        Method::of("session.ope", json!({})).unwrap_err().code,
+        Method::parse("session.ope", json!({})).unwrap_err().code,
         jsonrpc::METHOD_NOT_FOUND
     );
     assert_eq!(
@@ -144,7 +144,7 @@
             },
         ),
     ] {
-        assert_read_as(&notice(RequestId(3), written), want);
+        assert_read_as(&notification(RequestId(3), written), want);
     }
 }
 
--- a/crates/session-api/src/lib.rs
+++ b/crates/session-api/src/lib.rs
@@ -39,7 +39,7 @@
     }
 
     /// The first served version among a client's offers, which come in the client's order of preference (RFC 6455, 1.9).
-    pub fn of_offers<'a>(mut offers: impl Iterator<Item = &'a str>) -> Option<Version> {
+    pub fn negotiate<'a>(mut offers: impl Iterator<Item = &'a str>) -> Option<Version> {
         offers.find_map(|offer| {
             Version::SERVED
                 .into_iter()
--- a/crates/session-api/src/methods.rs
+++ b/crates/session-api/src/methods.rs
@@ -76,11 +76,11 @@
 }
 
 impl Method {
-    /// The method that is called.
+    /// The method of this name with its parameters.
     ///
     /// # Errors
     /// There is no such method, or it does not accept these parameters.
-    pub fn of(name: &str, params: Value) -> Result<Method, Error> {
+    pub fn parse(name: &str, params: Value) -> Result<Method, Error> {
         let params = normalize_params(name, params)?;
         let method = match name {
             "session.open" => Method::Open(parse_params(name, params)?),
--- a/crates/testbed/src/player/attempt.rs
+++ b/crates/testbed/src/player/attempt.rs
@@ -2,7 +2,7 @@
 use super::{Client, PlayerPool, Visit, MILLISECOND, SECOND};
 use crate::record::{PlayerReply, Seen};
 use crankpaddle_net::{clock, sleep};
-use crankpaddle_server_protocol::sessions::bill;
+use crankpaddle_server_protocol::sessions::billing_key;
 use crankpaddle_session_api::client::{self, ClientEvent};
 use crankpaddle_session_api::methods::Open;
 use rand::rngs::StdRng;
@@ -97,7 +97,7 @@
         self.recorder.see(Seen::OpenSent {
             call,
             front: attempt.front,
-            bill: bill(&attempt.key),
+            bill: billing_key(&attempt.key),
             class: attempt.visit.class.0,
             deadline,
         });
--- a/crates/testbed/src/server/mod.rs
+++ b/crates/testbed/src/server/mod.rs
@@ -229,7 +229,7 @@
                 Served::ConnectionOver
             }
             ("GET", ["sessions"]) => Served::Response(self.inventory(fleet, query)),
-            _ => Served::Response(Problem::of(404, format!("nothing at {path}")).response(&[])),
+            _ => Served::Response(Problem::new(404, format!("nothing at {path}")).response(&[])),
         }
     }
 }
@@ -250,5 +250,5 @@
 
 /// Reads a JSON body; the response of the failure where it is none.
 fn read_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, Vec<u8>> {
-    serde_json::from_slice(body).map_err(|e| Problem::of(400, e.to_string()).response(&[]))
+    serde_json::from_slice(body).map_err(|e| Problem::new(400, e.to_string()).response(&[]))
 }
--- a/crates/testbed/src/server/sessions.rs
+++ b/crates/testbed/src/server/sessions.rs
@@ -46,7 +46,7 @@
         };
         let mut sessions = lock(&self.sessions);
         let Some(session) = sessions.get_mut(name) else {
-            return Problem::of(404, "no such session").response(&[]);
+            return Problem::new(404, "no such session").response(&[]);
         };
         session.rung = rung;
         let rate = fleet.rate(session.class, rung);
--- a/crates/testbed/src/server/set_up.rs
+++ b/crates/testbed/src/server/set_up.rs
@@ -111,7 +111,7 @@
     }
 
     fn ended_early(&self) -> Unsuccessful {
-        let problem = Problem::of(409, "ended before it was set up");
+        let problem = Problem::new(409, "ended before it was set up");
         self.answer(Reply::Left, &problem)
     }
 
@@ -122,11 +122,11 @@
         let name_used = lock(&self.server.sessions).contains_key(self.name)
             || lock(&self.server.ended_early).remove(self.name);
         let Some(class) = class.filter(|_| !name_used) else {
-            let problem = Problem::of(409, "the name is taken, ended, or its class unknown");
+            let problem = Problem::new(409, "the name is taken, ended, or its class unknown");
             return Err(self.answer(Reply::Error, &problem));
         };
         if self.fleet.draw() < self.mode.errors {
-            let problem = Problem::of(500, "set-up failed");
+            let problem = Problem::new(500, "set-up failed");
             return Err(self.answer(Reply::Error, &problem));
         }
         Ok(class)
@@ -146,7 +146,7 @@
             Taken::Full => {
                 let problem = Problem {
                     kind: FULL.into(),
-                    ..Problem::of(503, "no room")
+                    ..Problem::new(503, "no room")
                 };
                 Err(self.answer(Reply::Full, &problem))
             }
--- a/crates/testbed/src/server/streams.rs
+++ b/crates/testbed/src/server/streams.rs
@@ -29,7 +29,7 @@
                 .then(|| fleet.rate(session.class, session.rung))
         };
         let Some(kb) = lock(&self.sessions).get(name).and_then(rate) else {
-            let not_found = Problem::of(404, "no such session").response(&[]);
+            let not_found = Problem::new(404, "no such session").response(&[]);
             return socket.write_all(&not_found).is_ok();
         };
         let seconds = fleet.segment as f64 / SECOND as f64;
