Daemon, session API: EndCause, SessionLocation and http::head::OK; comments without riddles

Cause: release(attempt, false) did not say what was false; answer took two texts whose order had to be known; the status 200 was defined three times; some comments spoke of nobody and of lives in place of what happens. Change: EndCause and SessionLocation name these values, head::OK is used by all, head::reason is reason_phrase. Two tests have a grammatical name or variable; what they check stays.

--- a/crates/config/tests/check.rs
+++ b/crates/config/tests/check.rs
@@ -181,7 +181,7 @@
 }
 
 #[test]
-fn an_empty_file_said_the_missing_sections() {
+fn an_empty_file_reports_the_missing_sections() {
     let said: Vec<String> = parse("")
         .unwrap_err()
         .iter()
--- a/crates/daemon/src/event_loop/attempts.rs
+++ b/crates/daemon/src/event_loop/attempts.rs
@@ -4,6 +4,15 @@
 use crankpaddle_net::clock;
 use crankpaddle_recovery::intents::AttemptResult;
 
+/// Why an attempt or session is over at its server.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum EndCause {
+    /// The server was lost.
+    ServerLost,
+    /// It ended or failed there, or was ended by this front.
+    Other,
+}
+
 impl EventLoop {
     /// A server answered a set-up, or the attempt failed; ignored where the attempt was released before.
     pub(super) fn set_up_completed(&mut self, attempt: AttemptId, result: SetUpResult) {
@@ -32,24 +41,24 @@
                 if *outcome == AttemptOutcome::ConnectFailed {
                     self.traffic.controller.server_lost(server.0);
                 }
-                self.release(attempt, false);
+                self.release(attempt, EndCause::Other);
             }
         }
         self.handle_core_input(Input::SetUpCompleted(attempt, result));
     }
 
-    /// A session ended at its server; `is_server_lost`: because the server was lost.
+    /// A session ended at its server.
     pub(super) fn end_session(
         &mut self,
         attempt: AttemptId,
         outcome: AttemptOutcome,
-        is_server_lost: bool,
+        cause: EndCause,
     ) {
         self.handle_core_input(Input::SessionEnded(attempt, outcome, Vec::new()));
         // An end that overtook the answer to its set-up belongs to an attempt in flight; it is released with
         // that answer.
         if self.is_established(attempt) {
-            self.release(attempt, is_server_lost);
+            self.release(attempt, cause);
         }
     }
 
@@ -60,14 +69,10 @@
             .is_some_and(|state| state.connection.has_session(attempt))
     }
 
-    /// Removes an attempt or session that is over at its server; `is_server_lost`: because the server was
-    /// lost.
-    pub(super) fn release(
-        &mut self,
-        attempt: AttemptId,
-        is_server_lost: bool,
-    ) -> Option<LiveAttempt> {
+    /// Removes an attempt or session that is over at its server.
+    pub(super) fn release(&mut self, attempt: AttemptId, cause: EndCause) -> Option<LiveAttempt> {
         let live = self.attempts.remove(&attempt)?;
+        let is_server_lost = cause == EndCause::ServerLost;
         self.attempt_ids.remove(&live.name);
         self.record_attempt_result(attempt, &live.name, AttemptResult::Ended);
         self.traffic
--- a/crates/daemon/src/event_loop/mod.rs
+++ b/crates/daemon/src/event_loop/mod.rs
@@ -89,7 +89,7 @@
     servers: BTreeMap<ServerId, ServerState>,
     title_names: HashMap<u64, String>,
     endpoints: CachedEndpoints,
-    /// While the list service is unavailable, nobody else reports servers that start.
+    /// While the list service is unavailable, only event streams show that a server started.
     is_list_unavailable: bool,
     list_writer: FileWriter,
     traffic: TrafficAccounting,
--- a/crates/daemon/src/event_loop/outputs.rs
+++ b/crates/daemon/src/event_loop/outputs.rs
@@ -1,4 +1,5 @@
 //! Performs what the core decided: answers, notifications, set-ups, rung changes and teardowns.
+use super::attempts::EndCause;
 use super::{EventLoop, LiveAttempt};
 use crate::attempt_sender::{AttemptHandle, SetUpRequest};
 use crate::config_lookup::name_at;
@@ -10,7 +11,7 @@
 };
 use crankpaddle_net::clock;
 use crankpaddle_server_protocol::sessions;
-use crankpaddle_session_api::answers;
+use crankpaddle_session_api::answers::{self, SessionLocation};
 use std::sync::Arc;
 
 /// A set-up that the core ordered.
@@ -84,10 +85,14 @@
                 zone = self.traffic.zone_name(live.server);
             }
         }
+        let location = SessionLocation {
+            media: &media_url,
+            zone,
+        };
         if let Some(player) = self.players.get(&call.player) {
             let version = player.version;
             player.answer(call.number, established, |id| {
-                answers::answer(version, id, answer, &media_url, zone)
+                answers::answer(version, id, answer, location)
             });
         }
     }
@@ -182,7 +187,7 @@
             server_id = server.0,
             "attempt abandoned"
         );
-        if let Some(live) = self.release(attempt, false) {
+        if let Some(live) = self.release(attempt, EndCause::Other) {
             live.handle.abandon();
             // It may have been set up all the same, or still be.
             live.link.tear_down(&self.shared, &live.name);
@@ -210,7 +215,7 @@
             server_id = server.0,
             "session torn down"
         );
-        if let Some(live) = self.release(attempt, false) {
+        if let Some(live) = self.release(attempt, EndCause::Other) {
             live.link.tear_down(&self.shared, &live.name);
         }
     }
--- a/crates/daemon/src/event_loop/server_messages.rs
+++ b/crates/daemon/src/event_loop/server_messages.rs
@@ -1,4 +1,5 @@
 //! What servers report on their event streams, and that a server can't be reached.
+use super::attempts::EndCause;
 use super::EventLoop;
 use crate::message::ServerMessage;
 use crankpaddle_front::{
@@ -138,7 +139,7 @@
     ///
     /// Why its start is also set to now while the list service is unavailable: it may have started
     /// milliseconds ago, and this front, whose requests failed until then, pauses before the next one. A server
-    /// that can't be reached is not warmed up, and nobody else reports its start. The cost: a server cut off
+    /// that can't be reached is not warmed up, and its start is seen nowhere else. The cost: a server cut off
     /// from this front alone starts slowly when it can be reached again.
     fn server_unreachable(&mut self, server: ServerId, requested_at: Time) {
         self.traffic.controller.server_lost(server.0);
@@ -162,7 +163,7 @@
 
     fn sessions_lost(&mut self, attempts: Vec<AttemptId>) {
         for attempt in attempts {
-            self.end_session(attempt, AttemptOutcome::Reset, true);
+            self.end_session(attempt, AttemptOutcome::Reset, EndCause::ServerLost);
         }
     }
 
@@ -190,7 +191,7 @@
         let Some(attempt) = self.attempt_ids.get(session_name).copied() else {
             return;
         };
-        self.end_session(attempt, outcome, false);
+        self.end_session(attempt, outcome, EndCause::Other);
         if let Some(sent_bytes) = sent_bytes {
             self.final_bytes_counted(attempt, sent_bytes);
         }
--- a/crates/daemon/src/inventory_client.rs
+++ b/crates/daemon/src/inventory_client.rs
@@ -2,6 +2,7 @@
 use crate::message::ServerMessage;
 use crate::shared::Shared;
 use crankpaddle_front::ServerId;
+use crankpaddle_http::head::OK;
 use crankpaddle_net::exchange::HttpExchange;
 use crankpaddle_net::{clock, spawn, Socket, Stack};
 use crankpaddle_server_protocol::session_inventory::{self, SessionInventory};
@@ -12,8 +13,6 @@
 
 /// Largest inventory: some hundred thousand bills.
 const MAX_INVENTORY_BYTES: u64 = 16 << 20;
-/// The status of a response that carries an inventory.
-const OK: u16 = 200;
 
 struct ServerResponse {
     status: u16,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -88,10 +88,10 @@
         Daemon::run(config, opened)
     }
 
-    /// The same, with a store that `open_store` opens, given the identity of the host's boot.
+    /// As [`Daemon::start`], with a store that `open_store` opens; its argument is the identity of the host's boot.
     ///
     /// # Errors
-    /// As [`Daemon::start`].
+    /// Those of [`Daemon::start`].
     pub fn start_on(
         config: Config,
         open_store: impl FnOnce(&str) -> Result<OpenedStore, crankpaddle_store::Error>,
--- a/crates/daemon/src/list_service_client.rs
+++ b/crates/daemon/src/list_service_client.rs
@@ -5,6 +5,7 @@
 use crate::message::Message;
 use crate::shared::Shared;
 use crankpaddle_config::Config;
+use crankpaddle_http::head::OK;
 use crankpaddle_net::exchange::{Events, ExchangeError, HttpExchange};
 use crankpaddle_net::{clock, sleep, spawn, Socket, Stack};
 use crankpaddle_server_protocol::list::{self, CachedEndpoints};
@@ -19,8 +20,6 @@
     initial: Duration::from_millis(100),
     max: Duration::from_secs(2),
 };
-/// The status of a response that carries a stream of lists.
-const OK: u16 = 200;
 
 /// The service can't be reached, or sent no list that could be parsed.
 struct NoListReceived;
--- a/crates/daemon/src/names.rs
+++ b/crates/daemon/src/names.rs
@@ -9,8 +9,7 @@
 use std::hash::{BuildHasher, DefaultHasher, Hash, Hasher, RandomState};
 use std::time::Duration;
 
-/// Names attempts so that nobody who knows one can guess another: with a session's name its media can be
-/// fetched.
+/// Names attempts. No name can be guessed from another: a session's media can be fetched by its name.
 pub(crate) struct AttemptNames {
     hash_key: RandomState,
     front: String,
--- a/crates/daemon/src/player_calls.rs
+++ b/crates/daemon/src/player_calls.rs
@@ -62,7 +62,7 @@
         let method = Method::parse(&call.method, call.params);
         let input = method.and_then(|method| self.input(number, method));
         match (input, call.id) {
-            // A set-up without an answer would play for nobody.
+            // Without an answer the player would not learn of its session.
             (Ok(Input::Open { .. } | Input::Resume { .. }), None) => None,
             (Ok(input), None) => Some(input),
             (Ok(input), Some(id)) => {
@@ -97,7 +97,7 @@
             },
             Method::Close(close) => Input::Close {
                 call,
-                // A name that this front never gave becomes a session that nobody has.
+                // A malformed name becomes a number that no session has.
                 session: RequestId(session_number(&close.session).unwrap_or(0)),
             },
         })
--- a/crates/daemon/src/server_link/controls.rs
+++ b/crates/daemon/src/server_link/controls.rs
@@ -71,8 +71,8 @@
 
 /// Connects for a control, again after a timeout.
 ///
-/// Why: a teardown that is dropped because a busy host took too long to connect leaves a session streaming to
-/// nobody for as long as the server runs. The cost: controls behind it wait longer. A port that refuses has
+/// Why: a teardown that is dropped because a busy host took too long to connect leaves a session without a
+/// viewer streaming for as long as the server runs. The cost: controls behind it wait longer. A port that refuses has
 /// no sessions left.
 fn connect(shared: &Shared, address: &SocketAddr) -> Option<Socket> {
     for backoff in CONNECT_BACKOFF {
--- a/crates/daemon/src/server_link/stream.rs
+++ b/crates/daemon/src/server_link/stream.rs
@@ -3,6 +3,7 @@
 use crate::message::ServerMessage;
 use crate::server_connection_state::{ReachabilityTracker, StreamFailure};
 use crate::shared::Shared;
+use crankpaddle_http::head::OK;
 use crankpaddle_net::exchange::{Events, ExchangeError, HttpExchange};
 use crankpaddle_net::{clock, sleep, Socket};
 use crankpaddle_server_protocol::event_stream::{self, ServerEvent};
@@ -10,9 +11,6 @@
 use std::io::{self, ErrorKind};
 use std::sync::Arc;
 
-/// The status of a response that carries an event stream.
-const OK: u16 = 200;
-
 impl ServerLink {
     /// Follows the server's event stream, reopens it when it ends, and passes its events to the event loop,
     /// until the link is idle.
--- a/crates/daemon/tests/edges/limits.rs
+++ b/crates/daemon/tests/edges/limits.rs
@@ -44,9 +44,9 @@
         ("handshake: \"5s\"", "handshake: \"300ms\""),
         ("idle: \"30s\"", "idle: \"400ms\""),
     ]);
-    for event in ["", "GET /session HT"] {
+    for request in ["", "GET /session HT"] {
         let mut stream = harness.connect();
-        stream.write_all(event.as_bytes()).unwrap();
+        stream.write_all(request.as_bytes()).unwrap();
         let mut rest = Vec::new();
         let _ = stream.read_to_end(&mut rest); // Closed or reset: it is over either way.
     }
@@ -101,7 +101,7 @@
         "{answer}"
     );
     drop(held);
-    wait_until("room", || {
+    wait_until("a connection to be allowed", || {
         harness
             .exchange(b"GET /health HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
             .contains("200 OK")
--- a/crates/daemon/tests/player_texts.rs
+++ b/crates/daemon/tests/player_texts.rs
@@ -1,4 +1,4 @@
-//! The exact JSON texts that players get: answers, errors and notices.
+//! The exact JSON texts that players get: answers, errors and notifications.
 mod support;
 mod texts;
 use serde_json::json;
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -7,6 +7,8 @@
 /// Longest head in bytes.
 pub const MAX_HEAD_BYTES: usize = 16 * 1024;
 
+/// Status: the request succeeded.
+pub const OK: u16 = 200;
 const SWITCHING_PROTOCOLS: u16 = 101;
 const NO_CONTENT: u16 = 204;
 const NOT_MODIFIED: u16 = 304;
@@ -242,7 +244,7 @@
 
 /// The standard reason phrase of a status; empty for statuses that are not used here.
 #[must_use]
-pub fn reason(status: u16) -> &'static str {
+pub fn reason_phrase(status: u16) -> &'static str {
     match status {
         101 => "Switching Protocols",
         200 => "OK",
@@ -289,7 +291,7 @@
 /// A complete response with the given fields; its content-length is stated unless its status allows no body.
 #[must_use]
 pub fn response(status: u16, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
-    let start_line = format!("HTTP/1.1 {status} {}", reason(status));
+    let start_line = format!("HTTP/1.1 {status} {}", reason_phrase(status));
     let has_length = status != SWITCHING_PROTOCOLS && status != NO_CONTENT;
     let content_length = has_length.then_some(body.len());
     message(&start_line, fields, content_length, body)
--- a/crates/http/src/problem.rs
+++ b/crates/http/src/problem.rs
@@ -38,7 +38,7 @@
     pub fn new(status: u16, detail: impl Into<String>) -> Problem {
         Problem {
             kind: blank(),
-            title: head::reason(status).to_owned(),
+            title: head::reason_phrase(status).to_owned(),
             status,
             detail: detail.into(),
             retry_after_ms: None,
--- a/crates/server-protocol/src/sessions.rs
+++ b/crates/server-protocol/src/sessions.rs
@@ -57,14 +57,15 @@
     pub rung: u8,
 }
 
-/// The billing key of the session with this idempotency key: a digest, so that nobody can resume the session by it.
+/// The billing key of the session with this idempotency key: a digest, which
+/// gives no access to the session.
 #[must_use]
 pub fn billing_key(key: &str) -> String {
     hex_prefix(&Sha256::digest(key.as_bytes()))
 }
 
 /// A front's name at servers, the same in all its incarnations. It is derived from its configured name and a secret
-/// key, so that nobody who knows only one of them can request another front's sessions.
+/// key, so that one of them alone is not enough to request the front's sessions.
 #[must_use]
 pub fn front_name(key: &[u8; 16], name: &str) -> String {
     let digest = Sha256::new()
@@ -118,7 +119,7 @@
 /// The result in a teardown's response; `None` where the server held no such session, or counts no bytes.
 #[must_use]
 pub fn parse_tear_down_response(response: &Response, body: &[u8]) -> Option<TearDownResult> {
-    if response.status != 200 {
+    if response.status != head::OK {
         return None;
     }
     serde_json::from_slice(body).ok()
--- a/crates/session-api/src/answers.rs
+++ b/crates/session-api/src/answers.rs
@@ -78,17 +78,25 @@
     jsonrpc::error(id, &error)
 }
 
-/// The answer to a call. `media` is where an established session is fetched from, `zone` the zone that serves it; other
-/// answers use neither.
+/// Where an established session plays.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SessionLocation<'a> {
+    /// The URL of its media.
+    pub media: &'a str,
+    /// The name of the zone that serves it.
+    pub zone: &'a str,
+}
+
+/// The answer to a call. Only that of an established session uses `location`.
 #[must_use]
-pub fn answer(version: Version, id: &Id, answer: &Answer, media: &str, zone: &str) -> Value {
+pub fn answer(version: Version, id: &Id, answer: &Answer, location: SessionLocation<'_>) -> Value {
     match answer {
         Answer::Established { session, rung, .. } => {
             let opened = Opened {
                 session: session_name(session.0),
-                media: media.to_owned(),
+                media: location.media.to_owned(),
                 rung: *rung,
-                hall: (version == Version::V2).then(|| zone.to_owned()),
+                hall: (version == Version::V2).then(|| location.zone.to_owned()),
             };
             jsonrpc::result(id, to_json(opened))
         }
--- a/crates/session-api/src/client/tests.rs
+++ b/crates/session-api/src/client/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::answers::{answer, notification};
+use crate::answers::{answer, notification, SessionLocation};
 use crate::jsonrpc::{self, Id, Message};
 use crate::methods::{session_number, Method};
 use crate::Version;
@@ -71,7 +71,12 @@
 
 /// The answer of a front to [`CALL`].
 fn answer_to_call(version: Version, to: &Answer, media: &str, zone: &str) -> Value {
-    answer(version, &Id(CALL.into()), to, media, zone)
+    answer(
+        version,
+        &Id(CALL.into()),
+        to,
+        SessionLocation { media, zone },
+    )
 }
 
 fn assert_read_as(message: &Value, want: ClientEvent) {
