Http, daemon: reason_phrase is private to http; two comments say what is the case

Cause: reason_phrase is used in its own package only. Change: it is pub(crate); the comments of InboxClosed and ConnectionPool state facts without figures of speech.

--- a/crates/daemon/src/connection_pool.rs
+++ b/crates/daemon/src/connection_pool.rs
@@ -8,7 +8,7 @@
 
 type IdleConnections = HashMap<SocketAddr, Vec<Arc<Socket>>>;
 
-/// Idle connections by server. The lock is held for a look at the lists only, never over a wait.
+/// Idle connections by server. The lock is never held over a wait.
 #[derive(Default)]
 pub(crate) struct ConnectionPool(Mutex<IdleConnections>);
 
--- a/crates/daemon/src/event_loop/mod.rs
+++ b/crates/daemon/src/event_loop/mod.rs
@@ -75,7 +75,7 @@
     connection: ServerConnectionState,
 }
 
-/// The queue's senders are all gone.
+/// All senders of the event loop's queue were dropped.
 struct InboxClosed;
 
 /// The event loop with all state that it owns.
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -244,7 +244,7 @@
 
 /// The standard reason phrase of a status; empty for statuses that are not used here.
 #[must_use]
-pub fn reason_phrase(status: u16) -> &'static str {
+pub(crate) fn reason_phrase(status: u16) -> &'static str {
     match status {
         101 => "Switching Protocols",
         200 => "OK",
