--- a/crates/daemon/src/connection_pool.rs
+++ b/crates/daemon/src/connection_pool.rs
@@ -8,7 +8,7 @@
 
 type IdleConnections = HashMap<SocketAddr, Vec<Arc<Socket>>>;
 
-/// Idle connections by server. The lock is held for a look at the lists only, never over a wait.
+/// Idle connections by server. The lock is never held over a wait.
 #[derive(Default)]
 pub(crate) struct ConnectionPool(Mutex<IdleConnections>);
 
@@ -29,9 +29,9 @@
         None
     }
 
-    /// Keeps a connection for `idle_timeout`, nanoseconds.
-    pub(crate) fn put(&self, address: SocketAddr, socket: Arc<Socket>, idle_timeout: u64) {
-        socket.set_expiry(clock::now() + Duration::from_nanos(idle_timeout));
+    /// Keeps a connection for `idle_timeout`.
+    pub(crate) fn put(&self, address: SocketAddr, socket: Arc<Socket>, idle_timeout: Duration) {
+        socket.set_expiry(clock::now() + idle_timeout);
         let mut idle = self.lock();
         let sockets = idle.entry(address).or_default();
         sockets.retain(|socket| !socket.is_closed());
--- a/crates/daemon/src/event_loop/attempts.rs
+++ b/crates/daemon/src/event_loop/attempts.rs
@@ -24,33 +24,31 @@
             SetUpResult::Started(_) => {
                 let now = clock::now();
                 let state = self.servers.entry(server).or_default();
-                state
-                    .connection
-                    .session_started(attempt, name, now.as_nanos());
+                state.connection.session_started(attempt, name, now);
                 self.traffic.controller.session_established(attempt.0, now);
             }
             SetUpResult::Ended(outcome, _) => {
                 if *outcome == AttemptOutcome::ConnectFailed {
                     self.traffic.controller.server_lost(server.0);
                 }
-                self.release(attempt, false);
+                self.release(attempt, AttemptEnd::Completed);
             }
         }
         self.handle_core_input(Input::SetUpCompleted(attempt, result));
     }
 
-    /// A session ended at its server; `is_server_lost`: because the server was lost.
+    /// A session ended at its server.
     pub(super) fn end_session(
         &mut self,
         attempt: AttemptId,
         outcome: AttemptOutcome,
-        is_server_lost: bool,
+        end: AttemptEnd,
     ) {
         self.handle_core_input(Input::SessionEnded(attempt, outcome, Vec::new()));
         // An end that overtook the answer to its set-up belongs to an attempt in flight; it is released with
         // that answer.
         if self.is_established(attempt) {
-            self.release(attempt, is_server_lost);
+            self.release(attempt, end);
         }
     }
 
@@ -61,28 +59,18 @@
             .is_some_and(|state| state.connection.has_session(attempt))
     }
 
-    /// Removes an attempt or session that is over at its server; `is_server_lost`: because the server was
-    /// lost.
-    pub(super) fn release(
-        &mut self,
-        attempt: AttemptId,
-        is_server_lost: bool,
-    ) -> Option<LiveAttempt> {
+    /// Removes an attempt or session that is over at its server.
+    pub(super) fn release(&mut self, attempt: AttemptId, end: AttemptEnd) -> Option<LiveAttempt> {
         let live = self.attempts.remove(&attempt)?;
         self.attempt_ids.remove(&live.name);
         self.record_attempt_result(attempt, &live.name, AttemptResult::Ended);
-        let end = if is_server_lost {
-            AttemptEnd::ServerLost
-        } else {
-            AttemptEnd::Completed
-        };
         self.traffic
             .controller
             .attempt_ended(attempt.0, end, clock::now());
         if let Some(state) = self.servers.get_mut(&live.server) {
             state.connection.session_ended(attempt);
         }
-        live.link.attempt_released(clock::now().as_nanos());
+        live.link.attempt_released(clock::now());
         Some(live)
     }
 }
--- a/crates/daemon/src/event_loop/maintenance.rs
+++ b/crates/daemon/src/event_loop/maintenance.rs
@@ -9,7 +9,7 @@
         let idle_timeout = self.shared.limits().pool_idle;
         for state in self.servers.values() {
             if let Some(link) = &state.link {
-                link.close_if_idle(now.as_nanos(), idle_timeout);
+                link.close_if_idle(now, idle_timeout);
             }
         }
         self.shared.pool.prune();
--- a/crates/daemon/src/event_loop/outputs.rs
+++ b/crates/daemon/src/event_loop/outputs.rs
@@ -4,13 +4,14 @@
 use crate::config_lookup::name_at;
 use crate::message::Message;
 use crate::server_link::ServerLink;
+use crankpaddle_cross_zone_traffic::traffic_controller::AttemptEnd;
 use crankpaddle_front::{
     Answer, AttemptId, AttemptOutcome, Call, Notification, Output, PlayerId, RequestId, ServerId,
     SetUpOrder, SetUpResult,
 };
 use crankpaddle_net::clock;
 use crankpaddle_server_protocol::sessions;
-use crankpaddle_session_api::answers;
+use crankpaddle_session_api::answers::{self, SessionLocation};
 use std::sync::Arc;
 
 /// A set-up that the core ordered.
@@ -84,10 +85,14 @@
                 zone = self.traffic.zone_name(live.server);
             }
         }
+        let location = SessionLocation {
+            media: &media_url,
+            zone,
+        };
         if let Some(player) = self.players.get(&call.player) {
             let version = player.version;
             player.answer(call.number, established, |id| {
-                answers::answer(version, id, answer, &media_url, zone)
+                answers::answer(version, id, answer, location)
             });
         }
     }
@@ -100,7 +105,7 @@
             "player notified"
         );
         if let Some(player) = self.players.get(&player) {
-            player.notify(session, answers::notice(session, notification));
+            player.notify(session, answers::notification(session, notification));
         }
     }
 
@@ -182,7 +187,7 @@
             server_id = server.0,
             "attempt abandoned"
         );
-        if let Some(live) = self.release(attempt, false) {
+        if let Some(live) = self.release(attempt, AttemptEnd::Completed) {
             live.handle.abandon();
             // It may have been set up all the same, or still be.
             live.link.tear_down(&self.shared, &live.name);
@@ -210,7 +215,7 @@
             server_id = server.0,
             "session torn down"
         );
-        if let Some(live) = self.release(attempt, false) {
+        if let Some(live) = self.release(attempt, AttemptEnd::Completed) {
             live.link.tear_down(&self.shared, &live.name);
         }
     }
--- a/crates/daemon/src/event_loop/server_messages.rs
+++ b/crates/daemon/src/event_loop/server_messages.rs
@@ -1,18 +1,28 @@
 //! What servers report on their event streams, and that a server can't be reached.
-use super::{EventLoop, MILLISECOND};
+use super::EventLoop;
 use crate::message::ServerMessage;
-use crankpaddle_front::{AttemptId, AttemptOutcome, Input, ServerId, SessionUpdate};
+use crankpaddle_cross_zone_traffic::traffic_controller::AttemptEnd;
+use crankpaddle_front::{
+    AttemptId, AttemptOutcome, EndpointListKind, Input, ServerId, SessionUpdate,
+};
 use crankpaddle_net::clock;
 use crankpaddle_server_protocol::event_stream::{StreamStart, TrafficCounts};
+use crankpaddle_time::Time;
+use std::time::Duration;
 
 impl EventLoop {
     pub(super) fn handle_server_message(&mut self, server: ServerId, message: ServerMessage) {
         match message {
-            ServerMessage::StreamStarted { start, called_at } => {
-                self.stream_started(server, &start, called_at);
+            ServerMessage::StreamStarted {
+                start,
+                requested_at,
+            } => {
+                self.stream_started(server, &start, requested_at);
             }
             ServerMessage::StreamClosed => self.stream_closed(server),
-            ServerMessage::Unreachable { called_at } => self.server_unreachable(server, called_at),
+            ServerMessage::Unreachable { requested_at } => {
+                self.server_unreachable(server, requested_at);
+            }
             ServerMessage::SessionUpdated {
                 session_name,
                 updates,
@@ -38,7 +48,7 @@
         }
     }
 
-    fn stream_started(&mut self, server: ServerId, start: &StreamStart, called_at: u64) {
+    fn stream_started(&mut self, server: ServerId, start: &StreamStart, requested_at: Time) {
         self.traffic
             .controller
             .server_connected(server.0, clock::now());
@@ -48,7 +58,7 @@
         };
         let lost = state
             .connection
-            .stream_started(&start.boot, &start.sessions, called_at);
+            .stream_started(&start.boot, &start.sessions, requested_at);
         self.tear_down_unknown_sessions(server, &start.sessions);
         self.sessions_lost(lost);
         self.retry_reconciliation(server);
@@ -91,11 +101,11 @@
         };
         let is_known = state.connection.incarnation().is_some();
         let is_other = state.connection.is_other_incarnation(&start.boot);
-        let now = clock::now().as_nanos();
-        let age = start.age_ms.map(|age| age.saturating_mul(MILLISECOND));
+        let now = clock::now();
+        let age = start.age_ms.map(Duration::from_millis);
         let started_at = match (is_known, age) {
             (true, _) if !is_other => return,
-            (_, Some(age)) => now.saturating_sub(age),
+            (_, Some(age)) => now - age,
             (true, None) => now,
             (false, None) => return,
         };
@@ -106,7 +116,7 @@
     }
 
     /// A server started at that time, or later where the list gives a later start.
-    pub(super) fn server_started(&mut self, server: ServerId, started_at: u64) {
+    pub(super) fn server_started(&mut self, server: ServerId, started_at: Time) {
         let entries = self.endpoints.servers().iter();
         let entry: Vec<_> = entries
             .filter(|entry| entry.id == server.0)
@@ -114,12 +124,9 @@
             .collect();
         let mut endpoints = self.resolve_endpoints(&entry);
         for endpoint in &mut endpoints {
-            endpoint.started_at = endpoint.started_at.max(crankpaddle_front::Time(started_at));
+            endpoint.started_at = endpoint.started_at.max(started_at);
         }
-        self.handle_core_input(Input::EndpointList(
-            crankpaddle_front::EndpointListKind::Delta,
-            endpoints,
-        ));
+        self.handle_core_input(Input::EndpointList(EndpointListKind::Delta, endpoints));
     }
 
     fn stream_closed(&mut self, server: ServerId) {
@@ -128,19 +135,19 @@
 
     /// Ends the sessions of a server that can't be reached.
     ///
-    /// Why it also counts as started now while the list service is unavailable: it may have started
-    /// milliseconds ago, and this front, whose calls failed until then, waits before it calls again. A server
-    /// that can't be reached is not warmed up, and nobody else reports its start. The cost: a server cut off
+    /// Why its start is also set to now while the list service is unavailable: it may have started
+    /// milliseconds ago, and this front, whose requests failed until then, pauses before the next one. A server
+    /// that can't be reached is not warmed up, and its start is seen nowhere else. The cost: a server cut off
     /// from this front alone starts slowly when it can be reached again.
-    fn server_unreachable(&mut self, server: ServerId, called_at: u64) {
+    fn server_unreachable(&mut self, server: ServerId, requested_at: Time) {
         self.traffic.controller.server_lost(server.0);
         if self.is_list_unavailable {
-            self.server_started(server, clock::now().as_nanos());
+            self.server_started(server, clock::now());
         }
         let lost = self
             .servers
             .get(&server)
-            .map(|state| state.connection.sessions_before(called_at))
+            .map(|state| state.connection.sessions_before(requested_at))
             .unwrap_or_default();
         if !lost.is_empty() {
             tracing::warn!(
@@ -154,7 +161,7 @@
 
     fn sessions_lost(&mut self, attempts: Vec<AttemptId>) {
         for attempt in attempts {
-            self.end_session(attempt, AttemptOutcome::Reset, true);
+            self.end_session(attempt, AttemptOutcome::Reset, AttemptEnd::ServerLost);
         }
     }
 
@@ -182,7 +189,7 @@
         let Some(attempt) = self.attempt_ids.get(session_name).copied() else {
             return;
         };
-        self.end_session(attempt, outcome, false);
+        self.end_session(attempt, outcome, AttemptEnd::Completed);
         if let Some(sent_bytes) = sent_bytes {
             self.final_bytes_counted(attempt, sent_bytes);
         }
--- a/crates/daemon/src/event_loop/session_adoption.rs
+++ b/crates/daemon/src/event_loop/session_adoption.rs
@@ -117,7 +117,7 @@
         let state = self.servers.entry(server).or_default();
         state
             .connection
-            .session_started(attempt, session.name.clone(), now.as_nanos());
+            .session_started(attempt, session.name.clone(), now);
         if is_paid_class(&self.shared.config, usize::from(order.class)) {
             self.write_adopted_intent(server, &session);
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,10 +18,12 @@
 //! - `recovered_state`: what previous incarnations left, and the front's name; `inventory_client`: what
 //!   servers hold of them;
 //! - `traffic`: cross-zone traffic; `persistence_thread`: files that are replaced as a whole;
-//! - `names`, `config_lookup`: names and numbers; `key_file`, `errors`.
+//! - `names`, `config_lookup`: names and numbers; `atomic_time`, `backoff`, `key_file`, `errors`.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+mod atomic_time;
 mod attempt_sender;
+mod backoff;
 mod config_lookup;
 mod connection_pool;
 mod errors;
@@ -55,6 +57,7 @@
 use membership_runner::OpenedMembership;
 use message::Message;
 use recovered_state::OpenedState;
+pub use shared::Counts;
 use shared::Shared;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -85,10 +88,10 @@
         Daemon::run(config, opened)
     }
 
-    /// The same, with a store that `open_store` opens, given the identity of the host's boot.
+    /// As [`Daemon::start`], with a store that `open_store` opens; its argument is the identity of the host's boot.
     ///
     /// # Errors
-    /// As [`Daemon::start`].
+    /// Those of [`Daemon::start`].
     pub fn start_on(
         config: Config,
         open_store: impl FnOnce(&str) -> Result<OpenedStore, crankpaddle_store::Error>,
@@ -180,10 +183,10 @@
         let _ = TcpStream::connect(self.address);
     }
 
-    /// Requests without an answer, and established sessions.
+    /// The work in progress, as the event loop last published it.
     #[must_use]
-    pub fn counts(&self) -> (usize, usize) {
-        (self.shared.waiting(), self.shared.playing())
+    pub fn counts(&self) -> Counts {
+        self.shared.counts()
     }
 }
 
--- a/crates/daemon/src/list_service_client.rs
+++ b/crates/daemon/src/list_service_client.rs
@@ -1,30 +1,27 @@
 //! The subscription to the list service, and the copy of the list on disk that a front starts from without
 //! the service.
+use crate::backoff::ExponentialBackoff;
 use crate::errors::{SavedFileError, StartError};
 use crate::message::Message;
 use crate::shared::Shared;
 use crankpaddle_config::Config;
+use crankpaddle_http::head::OK;
 use crankpaddle_net::exchange::{Events, ExchangeError, HttpExchange};
 use crankpaddle_net::{clock, sleep, spawn, Socket, Stack};
 use crankpaddle_server_protocol::list::{self, CachedEndpoints};
+use crankpaddle_time::nanoseconds;
 use std::fs;
 use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
-const MILLISECOND: u64 = 1_000_000;
-/// Backoff after the first failed call, nanoseconds; half of it is drawn, so that fronts do not call
-/// together.
-const FIRST_BACKOFF: u64 = 100 * MILLISECOND;
-/// Longest backoff, nanoseconds.
-const LONGEST_BACKOFF: u64 = 2000 * MILLISECOND;
-/// Doublings of the backoff that are computed at most: beyond them it is the longest in any case.
-const MOST_DOUBLINGS: u32 = 8;
-/// The status of a response that carries a stream of lists.
-const OK: u16 = 200;
+const BACKOFF: ExponentialBackoff = ExponentialBackoff {
+    initial: Duration::from_millis(100),
+    max: Duration::from_secs(2),
+};
 
-/// The service can't be reached, or sent nothing that could be read.
+/// The service can't be reached, or sent no list that could be parsed.
 struct NoListReceived;
 
 /// The list as a previous incarnation saved it, if there is one. A malformed copy is ignored: the service
@@ -66,16 +63,14 @@
                 Ok(()) => 0,
                 Err(NoListReceived) => consecutive_failures + 1,
             };
-            sleep(backoff(consecutive_failures));
+            sleep(backoff_with_jitter(consecutive_failures));
         }
     });
 }
 
-fn backoff(consecutive_failures: u32) -> Duration {
-    let doublings = consecutive_failures.min(MOST_DOUBLINGS);
-    let longest = FIRST_BACKOFF
-        .saturating_mul(1 << doublings)
-        .min(LONGEST_BACKOFF);
+/// The backoff with half of it random, so that fronts do not reconnect at the same time.
+fn backoff_with_jitter(consecutive_failures: u32) -> Duration {
+    let longest = nanoseconds(BACKOFF.pause(consecutive_failures));
     Duration::from_nanos(rand::random_range(longest / 2..=longest))
 }
 
@@ -100,7 +95,7 @@
             }
             Ok(None) => {} // A kind that a later release of the service sends.
             // Why it ends here: after a change that can't be read, later ones would apply to the wrong list.
-            // The next call gets a complete one.
+            // A new subscription starts with a full list.
             Err(reason) => {
                 tracing::warn!(%reason, "list service stream malformed");
                 return result;
@@ -114,7 +109,7 @@
     let socket = Socket::connect(&address, shared.connect_timeout()).ok()?;
     let socket = Arc::new(socket);
     let silence_timeout = shared.limits().silence;
-    socket.set_expiry(clock::now() + Duration::from_nanos(silence_timeout));
+    socket.set_expiry(clock::now() + silence_timeout);
     shared.server_sweeper.watch(&socket);
     let request = list::subscribe(&address.to_string(), shared.names.front());
     socket.write_all(&request).ok()?;
@@ -123,7 +118,5 @@
     if head.status != OK {
         return None;
     }
-    exchange
-        .events(&head, Duration::from_nanos(silence_timeout))
-        .ok()
+    exchange.events(&head, silence_timeout).ok()
 }
--- a/crates/daemon/src/player_calls.rs
+++ b/crates/daemon/src/player_calls.rs
@@ -3,7 +3,7 @@
 use crate::names;
 use crate::player::Player;
 use crate::shared::Shared;
-use crankpaddle_front::{Call, Input, RequestId, Time};
+use crankpaddle_front::{Call, Input, RequestId};
 use crankpaddle_net::clock;
 use crankpaddle_server_protocol::sessions;
 use crankpaddle_session_api::jsonrpc::{self, Error, Id, Member};
@@ -59,14 +59,14 @@
             }
         };
         let number = self.last_number;
-        let method = Method::of(&call.method, call.params);
+        let method = Method::parse(&call.method, call.params);
         let input = method.and_then(|method| self.input(number, method));
         match (input, call.id) {
-            // A set-up without an answer would play for nobody.
+            // Without an answer the player would not learn of its session.
             (Ok(Input::Open { .. } | Input::Resume { .. }), None) => None,
             (Ok(input), None) => Some(input),
             (Ok(input), Some(id)) => {
-                self.player.calls().wait(number, id, batch);
+                self.player.calls().add_pending(number, id, batch);
                 Some(input)
             }
             (Err(error), Some(id)) => {
@@ -88,16 +88,16 @@
             Method::Open(open) => Input::Open {
                 call,
                 open: names::open_request(config, open)?,
-                received: Time(clock::now().as_nanos()),
+                received: clock::now(),
             },
             Method::Resume(resume) => Input::Resume {
                 call,
                 tenant: names::tenant(config, resume.tenant.as_deref())?,
-                key: sessions::bill(&resume.key),
+                key: sessions::billing_key(&resume.key),
             },
             Method::Close(close) => Input::Close {
                 call,
-                // A name that this front never gave becomes a session that nobody has.
+                // A malformed name becomes a number that no session has.
                 session: RequestId(session_number(&close.session).unwrap_or(0)),
             },
         })
@@ -110,7 +110,7 @@
         }
     }
 
-    /// The answers of a batch go back together, so none may wait longer than the most impatient viewer in it.
+    /// The answers of a batch go back together, so none may wait longer than the shortest wait in it.
     fn limit_batch_wait(&self, inputs: &mut [Input]) {
         let waits = inputs.iter().map(|input| self.wait_limit(input));
         let shortest = waits.min().unwrap_or(Duration::MAX);
--- a/crates/daemon/src/player_listener.rs
+++ b/crates/daemon/src/player_listener.rs
@@ -3,6 +3,7 @@
 use crate::player::CLOSE_TIMEOUT;
 use crate::shared::Shared;
 use crate::{player_session, websocket_handshake};
+use crankpaddle_http::head::Request;
 use crankpaddle_http::problem::Problem;
 use crankpaddle_net::exchange::{ExchangeError, HttpExchange};
 use crankpaddle_net::{clock, sleep, spawn, Socket, Stack};
@@ -10,8 +11,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Bytes of a request's body at most.
-const MOST_BODY: u64 = 64 * 1024;
+/// Largest body of a request.
+const MAX_BODY_BYTES: u64 = 64 * 1024;
 /// Idle players are looked for this often: the timeout is tens of seconds.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 const MILLISECOND: u64 = 1_000_000;
@@ -21,7 +22,7 @@
     let idle_timeout = shared.limits().idle;
     spawn(Stack::Usual, move || {
         while !is_stopped.load(Ordering::Acquire) {
-            let now = clock::now().as_nanos();
+            let now = clock::now();
             shared.visit_players(|player| player.enforce_idle_timeout(now, idle_timeout));
             sleep(IDLE_CHECK_INTERVAL);
         }
@@ -36,47 +37,53 @@
     if shared.connections() > limits.connections {
         return reject_connection(shared, &socket);
     }
-    socket.set_expiry(clock::now() + Duration::from_nanos(limits.handshake));
+    socket.set_expiry(clock::now() + limits.handshake);
     shared.player_sweeper.watch(&socket);
     let mut exchange = HttpExchange::new(socket.clone());
     loop {
-        let request =
-            match exchange.request(MOST_BODY, Some(Duration::from_nanos(limits.handshake))) {
-                Ok((request, _)) => request,
-                Err(ExchangeError::Bad(reason)) => {
-                    let problem = Problem::of(reason.status(), reason.detail()).response(&[CLOSE]);
-                    let _ = socket.write_all(&problem); // The connection ends in any case.
-                    return socket.finish(Duration::from_nanos(CLOSE_TIMEOUT));
-                }
-                Err(_) => return,
-            };
-        if websocket_handshake::is_upgrade(&request) {
-            match websocket_handshake::accept(&request) {
-                Ok(accepted) => {
-                    let unread = exchange.into_rest();
-                    return player_session::serve(shared, &socket, unread, &accepted);
-                }
-                Err(problem) => {
-                    let _ = socket.write_all(&problem); // As above.
-                    return socket.finish(Duration::from_nanos(CLOSE_TIMEOUT));
-                }
+        let request = match exchange.request(MAX_BODY_BYTES, Some(limits.handshake)) {
+            Ok((request, _)) => request,
+            Err(ExchangeError::Bad(reason)) => {
+                let problem = Problem::new(reason.status(), reason.detail());
+                return send_last(&socket, &problem.response(&[CLOSE]));
             }
+            Err(_) => return,
+        };
+        if websocket_handshake::is_upgrade(&request) {
+            return upgrade(shared, &socket, exchange, &request);
         }
         let keeps_alive = request.keeps_alive();
         let response = http_responses::respond(shared, &request);
         if socket.write_all(&response).is_err() || !keeps_alive {
-            return socket.finish(Duration::from_nanos(CLOSE_TIMEOUT));
+            return socket.finish(CLOSE_TIMEOUT);
+        }
+        socket.set_expiry(clock::now() + limits.handshake);
+    }
+}
+
+/// Upgrades a connection to WebSocket and serves it until it ends, or rejects the handshake.
+fn upgrade(shared: &Arc<Shared>, socket: &Arc<Socket>, exchange: HttpExchange, request: &Request) {
+    match websocket_handshake::accept(request) {
+        Ok(accepted) => {
+            let unread = exchange.into_rest();
+            player_session::serve(shared, socket, unread, &accepted);
         }
-        socket.set_expiry(clock::now() + Duration::from_nanos(limits.handshake));
+        Err(rejection) => send_last(socket, &rejection),
     }
 }
 
+/// Sends a connection's last response and closes it.
+fn send_last(socket: &Arc<Socket>, response: &[u8]) {
+    let _ = socket.write_all(response); // The connection ends in any case.
+    socket.finish(CLOSE_TIMEOUT);
+}
+
 /// Load shedding: the response goes out at once or not at all, and the connection is closed early.
 fn reject_connection(shared: &Shared, socket: &Arc<Socket>) {
-    let mut problem = Problem::of(503, "the front has as many connections as it may");
+    let mut problem = Problem::new(503, "the front has as many connections as it may");
     problem.retry_after_ms = Some(shared.config.settings.max_retry_after / MILLISECOND);
     let _ = socket.try_write(&problem.response(&[CLOSE]));
-    socket.finish(Duration::from_nanos(CLOSE_TIMEOUT / 4));
+    socket.finish(CLOSE_TIMEOUT / 4);
 }
 
 /// Counts a connection for as long as it is open, also where its coroutine panics.
--- a/crates/daemon/src/server_connection_state.rs
+++ b/crates/daemon/src/server_connection_state.rs
@@ -4,26 +4,25 @@
 //! three: a lost session that goes unnoticed occupies its capacity for ever, and its viewer is never
 //! notified. The cost: a server cut off from this front alone loses sessions here that still stream there;
 //! they are torn down when it is reached again.
+use crate::backoff::ExponentialBackoff;
 use crankpaddle_front::AttemptId;
+use crankpaddle_time::Time;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 #[cfg(test)]
 mod tests;
 
-const MILLISECOND: u64 = 1_000_000;
-/// Backoff after the first failed call, nanoseconds.
-const FIRST_BACKOFF: u64 = 50 * MILLISECOND;
-/// Longest backoff, nanoseconds.
-const LONGEST_BACKOFF: u64 = 1000 * MILLISECOND;
-/// Doublings of the backoff that are computed at most: beyond them it is the longest in any case.
-const MOST_DOUBLINGS: u32 = 10;
+const BACKOFF: ExponentialBackoff = ExponentialBackoff {
+    initial: Duration::from_millis(50),
+    max: Duration::from_secs(1),
+};
 
 #[derive(Debug)]
 struct EstablishedSession {
     /// Its name at the server.
     name: String,
-    /// Clock time, nanoseconds.
-    established_at: u64,
+    established_at: Time,
 }
 
 /// What is known of one server: its incarnation, and the sessions that are established there.
@@ -34,7 +33,7 @@
 }
 
 impl ServerConnectionState {
-    pub(crate) fn session_started(&mut self, attempt: AttemptId, name: String, now: u64) {
+    pub(crate) fn session_started(&mut self, attempt: AttemptId, name: String, now: Time) {
         let session = EstablishedSession {
             name,
             established_at: now,
@@ -66,46 +65,46 @@
         self.incarnation().is_some_and(|known| known != incarnation)
     }
 
-    /// The server's event stream began with the sessions that it holds, in response to a call made at
-    /// `called_at`. Returns the sessions that are lost. One that was established during the call may be
-    /// missing there and is not.
+    /// The server's event stream began with a list of the sessions that it holds, in response to a request
+    /// sent at `requested_at`. Returns the sessions that are lost. A session that was established after the
+    /// request may be missing from the list and is not lost.
     pub(crate) fn stream_started(
         &mut self,
         incarnation: &str,
         session_names: &[String],
-        called_at: u64,
+        requested_at: Time,
     ) -> Vec<AttemptId> {
         let is_other = self.is_other_incarnation(incarnation);
         self.incarnation = Some(incarnation.to_owned());
         let listed: BTreeSet<&str> = session_names.iter().map(String::as_str).collect();
-        self.established_before(called_at, |session| {
+        self.established_before(requested_at, |session| {
             is_other || !listed.contains(session.name.as_str())
         })
     }
 
-    /// The sessions that were established before a call made at `called_at`; all are lost where the call
-    /// showed that the server can't be reached.
-    pub(crate) fn sessions_before(&self, called_at: u64) -> Vec<AttemptId> {
-        self.established_before(called_at, |_| true)
+    /// The sessions that were established before a request sent at `requested_at`: the lost ones where the
+    /// request showed that the server can't be reached.
+    pub(crate) fn sessions_before(&self, requested_at: Time) -> Vec<AttemptId> {
+        self.established_before(requested_at, |_| true)
     }
 
     fn established_before(
         &self,
-        called_at: u64,
+        requested_at: Time,
         is_wanted: impl Fn(&EstablishedSession) -> bool,
     ) -> Vec<AttemptId> {
         let sessions = self.sessions.iter();
         sessions
-            .filter(|(_, session)| session.established_at < called_at && is_wanted(session))
+            .filter(|(_, session)| session.established_at < requested_at && is_wanted(session))
             .map(|(attempt, _)| *attempt)
             .collect()
     }
 }
 
-/// How a call for a server's event stream failed.
+/// How a server's event stream failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum CallFailure {
-    /// Refused or reset: no process listens there.
+pub(crate) enum StreamFailure {
+    /// The connection was refused or reset: no process listens there.
     Refused,
     /// No response: the server may be slow or cut off.
     NoResponse,
@@ -113,26 +112,26 @@
     StreamClosed,
 }
 
-/// What follows from a failed call.
+/// What is done about a failed event stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct FailureVerdict {
-    /// The server counts as lost.
+    /// The server can't be reached, so its sessions are to be ended.
     pub is_lost: bool,
-    /// Backoff before the next call, nanoseconds.
-    pub backoff: u64,
+    /// The pause before the next request; zero: it is sent at once.
+    pub backoff: Duration,
 }
 
-/// Tracks whether a server can be reached, over consecutive calls.
+/// Tracks whether a server can be reached, over consecutive requests for its event stream.
 #[derive(Debug)]
 pub(crate) struct ReachabilityTracker {
-    last_received: u64,
-    silence_timeout: u64,
+    last_received: Time,
+    silence_timeout: Duration,
     consecutive_failures: u32,
 }
 
 impl ReachabilityTracker {
-    /// `silence_timeout`: a server that sends nothing for so long is lost, nanoseconds.
-    pub(crate) fn new(now: u64, silence_timeout: u64) -> ReachabilityTracker {
+    /// `silence_timeout`: a server that sends nothing for so long is lost.
+    pub(crate) fn new(now: Time, silence_timeout: Duration) -> ReachabilityTracker {
         ReachabilityTracker {
             last_received: now,
             silence_timeout,
@@ -141,33 +140,30 @@
     }
 
     /// The server's event stream began.
-    pub(crate) fn stream_started(&mut self, now: u64) {
+    pub(crate) fn stream_started(&mut self, now: Time) {
         self.last_received = now;
         self.consecutive_failures = 0;
     }
 
-    /// A call failed.
-    pub(crate) fn call_failed(&mut self, now: u64, failure: CallFailure) -> FailureVerdict {
+    /// The event stream could not be opened, or ended.
+    pub(crate) fn stream_failed(&mut self, now: Time, failure: StreamFailure) -> FailureVerdict {
         let is_lost = match failure {
-            CallFailure::Refused => true,
-            CallFailure::NoResponse => {
-                now.saturating_sub(self.last_received) >= self.silence_timeout
+            StreamFailure::Refused => true,
+            StreamFailure::NoResponse => {
+                now.duration_since(self.last_received) >= self.silence_timeout
             }
-            CallFailure::StreamClosed => false,
+            StreamFailure::StreamClosed => false,
         };
         let backoff = self.backoff(failure);
         self.consecutive_failures += 1;
         FailureVerdict { is_lost, backoff }
     }
 
-    /// The first call after a stream ended goes out at once: mostly the connection broke, not the server.
-    fn backoff(&self, failure: CallFailure) -> u64 {
-        if failure == CallFailure::StreamClosed && self.consecutive_failures == 0 {
-            return 0;
+    /// After a stream that had begun there is no pause: mostly the connection failed, not the server.
+    fn backoff(&self, failure: StreamFailure) -> Duration {
+        if failure == StreamFailure::StreamClosed && self.consecutive_failures == 0 {
+            return Duration::ZERO;
         }
-        let doublings = self.consecutive_failures.min(MOST_DOUBLINGS);
-        FIRST_BACKOFF
-            .saturating_mul(1 << doublings)
-            .min(LONGEST_BACKOFF)
+        BACKOFF.pause(self.consecutive_failures)
     }
 }
--- a/crates/daemon/src/server_link/controls.rs
+++ b/crates/daemon/src/server_link/controls.rs
@@ -11,8 +11,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// A control is given up after this time, nanoseconds: the server hangs, which its event stream shows.
-const CONTROL_TIMEOUT: u64 = 2_000_000_000;
+/// A control is given up after this time: the server hangs, which its event stream shows.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Backoff after connection attempts that timed out.
 const CONNECT_BACKOFF: [Duration; 5] = [
     Duration::from_millis(100),
@@ -21,8 +21,8 @@
     Duration::from_millis(800),
     Duration::from_millis(1600),
 ];
-/// Bytes of a response's body at most.
-const MOST_RESPONSE: u64 = 64 * 1024;
+/// Largest body of a response.
+const MAX_RESPONSE_BYTES: u64 = 64 * 1024;
 
 /// The server that controls go to.
 pub(super) struct Target {
@@ -71,8 +71,8 @@
 
 /// Connects for a control, again after a timeout.
 ///
-/// Why: a teardown that is dropped because a busy host took too long to connect leaves a session streaming to
-/// nobody for as long as the server runs. The cost: controls behind it wait longer. A port that refuses has
+/// Why: a teardown that is dropped because a busy host took too long to connect leaves a session without a
+/// viewer streaming for as long as the server runs. The cost: controls behind it wait longer. A port that refuses has
 /// no sessions left.
 fn connect(shared: &Shared, address: &SocketAddr) -> Option<Socket> {
     for backoff in CONNECT_BACKOFF {
@@ -93,12 +93,12 @@
     control: &Control,
 ) -> Option<Arc<Socket>> {
     let request = control.request(&target.address.to_string());
-    socket.set_expiry(clock::now() + Duration::from_nanos(CONTROL_TIMEOUT));
+    socket.set_expiry(clock::now() + CONTROL_TIMEOUT);
     socket.write_all(&request).ok()?;
     let mut exchange = HttpExchange::new(socket.clone());
-    let (response, body) = exchange.response(MOST_RESPONSE).ok()?;
+    let (response, body) = exchange.response(MAX_RESPONSE_BYTES).ok()?;
     if let Control::TearDown { session_name } = control {
-        if let Some(ended) = sessions::tear_down_answer(&response, &body) {
+        if let Some(ended) = sessions::parse_tear_down_response(&response, &body) {
             let message = ServerMessage::TearDownCompleted {
                 session_name: session_name.clone(),
                 sent_bytes: ended.sent_bytes,
@@ -109,6 +109,6 @@
     if !response.keeps_alive() || !exchange.is_clean() {
         return None;
     }
-    socket.set_expiry(clock::now() + Duration::from_nanos(shared.limits().pool_idle));
+    socket.set_expiry(clock::now() + shared.limits().pool_idle);
     Some(socket)
 }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -22,6 +22,15 @@
 /// Connections of players are swept this often: their deadlines are seconds, and there are many.
 const PLAYER_SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
+/// A front's work in progress at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests without an answer.
+    pub waiting: usize,
+    /// Established sessions.
+    pub playing: usize,
+}
+
 /// State that the coroutines of a front share.
 pub(crate) struct Shared {
     pub config: Config,
@@ -89,7 +98,7 @@
         self.queued_requests.fetch_sub(1, Ordering::Relaxed);
     }
 
-    /// Whether players sent more requests than the event loop should have before it.
+    /// Whether the event loop's queue holds too many requests of players.
     pub(crate) fn has_request_backlog(&self) -> bool {
         let most = self.config.terms.max_pending.saturating_mul(2);
         self.queued_requests.load(Ordering::Relaxed) > most
@@ -102,7 +111,7 @@
 
     /// How long a connection to a server may take.
     pub(crate) fn connect_timeout(&self) -> Duration {
-        Duration::from_nanos(self.config.limits.connect)
+        self.config.limits.connect
     }
 
     /// A connection was accepted.
@@ -120,20 +129,18 @@
         self.connections.load(Ordering::Relaxed)
     }
 
-    /// Publishes the core's counts: requests without an answer, and established sessions.
-    pub(crate) fn publish_counts(&self, waiting: usize, playing: usize) {
-        self.waiting.store(waiting, Ordering::Relaxed);
-        self.playing.store(playing, Ordering::Relaxed);
+    /// Publishes the core's counts.
+    pub(crate) fn publish_counts(&self, counts: Counts) {
+        self.waiting.store(counts.waiting, Ordering::Relaxed);
+        self.playing.store(counts.playing, Ordering::Relaxed);
     }
 
-    /// Requests without an answer, as last published.
-    pub(crate) fn waiting(&self) -> usize {
-        self.waiting.load(Ordering::Relaxed)
-    }
-
-    /// Established sessions, as last published.
-    pub(crate) fn playing(&self) -> usize {
-        self.playing.load(Ordering::Relaxed)
+    /// The counts as last published.
+    pub(crate) fn counts(&self) -> Counts {
+        Counts {
+            waiting: self.waiting.load(Ordering::Relaxed),
+            playing: self.playing.load(Ordering::Relaxed),
+        }
     }
 
     /// The front is draining from now on; this is never taken back.
@@ -164,7 +171,7 @@
         self.pending_controls.load(Ordering::Acquire) > 0
     }
 
-    /// Has a player's idle time watched until it is dropped.
+    /// Adds a player to those of [`Shared::visit_players`], until it is dropped.
     pub(crate) fn register_player(&self, player: &Arc<Player>) {
         self.players
             .lock()
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -7,6 +7,8 @@
 /// Longest head in bytes.
 pub const MAX_HEAD_BYTES: usize = 16 * 1024;
 
+/// Status: the request succeeded.
+pub const OK: u16 = 200;
 const SWITCHING_PROTOCOLS: u16 = 101;
 const NO_CONTENT: u16 = 204;
 const NOT_MODIFIED: u16 = 304;
@@ -36,10 +38,10 @@
 
     /// Whether a comma-separated field has this member, compared without case.
     #[must_use]
-    pub fn has_word(&self, name: &str, word: &str) -> bool {
+    pub fn has_token(&self, name: &str, token: &str) -> bool {
         self.all(name)
             .flat_map(|value| value.split(','))
-            .any(|member| member.trim().eq_ignore_ascii_case(word))
+            .any(|member| member.trim().eq_ignore_ascii_case(token))
     }
 
     fn read(headers: &[httparse::Header<'_>]) -> Result<Fields, HttpError> {
@@ -54,9 +56,9 @@
     /// Whether a connection with a message of this minor version and these fields may carry another one.
     fn keep_alive(&self, minor: u8) -> bool {
         if minor == 0 {
-            self.has_word("connection", "keep-alive")
+            self.has_token("connection", "keep-alive")
         } else {
-            !self.has_word("connection", "close")
+            !self.has_token("connection", "close")
         }
     }
 
@@ -179,8 +181,8 @@
 
     /// How its body is framed.
     ///
-    /// Why both fields together are rejected: a length that can be read in two ways smuggles a second request past
-    /// whoever reads it the other way (RFC 9112, 6.3).
+    /// Why both fields together are rejected: where an intermediary takes one length and this reader the other, the
+    /// rest of the body is read as a second request that the intermediary never checked (RFC 9112, 6.3).
     ///
     /// # Errors
     /// Fields that contradict each other or an unsupported coding.
@@ -242,7 +244,7 @@
 
 /// The standard reason phrase of a status; empty for statuses that are not used here.
 #[must_use]
-pub fn reason(status: u16) -> &'static str {
+pub(crate) fn reason_phrase(status: u16) -> &'static str {
     match status {
         101 => "Switching Protocols",
         200 => "OK",
@@ -289,7 +291,7 @@
 /// A complete response with the given fields; its content-length is stated unless its status allows no body.
 #[must_use]
 pub fn response(status: u16, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
-    let start_line = format!("HTTP/1.1 {status} {}", reason(status));
+    let start_line = format!("HTTP/1.1 {status} {}", reason_phrase(status));
     let has_length = status != SWITCHING_PROTOCOLS && status != NO_CONTENT;
     let content_length = has_length.then_some(body.len());
     message(&start_line, fields, content_length, body)
--- a/crates/server-protocol/src/sessions.rs
+++ b/crates/server-protocol/src/sessions.rs
@@ -27,7 +27,7 @@
 pub struct SetUpBody {
     /// The requesting front; updates on the session go to the stream that it opened under this name.
     pub front: String,
-    /// The billing key (see [`bill`]): the same for all attempts for one session.
+    /// The billing key (see [`billing_key`]): the same for all attempts for one session.
     pub bill: String,
     /// Title by name.
     pub title: String,
@@ -57,14 +57,15 @@
     pub rung: u8,
 }
 
-/// The billing key of the session with this idempotency key: a digest, so that nobody can resume the session by it.
+/// The billing key of the session with this idempotency key: a digest, which
+/// gives no access to the session.
 #[must_use]
-pub fn bill(key: &str) -> String {
+pub fn billing_key(key: &str) -> String {
     hex_prefix(&Sha256::digest(key.as_bytes()))
 }
 
 /// A front's name at servers, the same in all its incarnations. It is derived from its configured name and a secret
-/// key, so that nobody who knows only one of them can request another front's sessions.
+/// key, so that one of them alone is not enough to request the front's sessions.
 #[must_use]
 pub fn front_name(key: &[u8; 16], name: &str) -> String {
     let digest = Sha256::new()
@@ -117,8 +118,8 @@
 
 /// The result in a teardown's response; `None` where the server held no such session, or counts no bytes.
 #[must_use]
-pub fn tear_down_answer(response: &Response, body: &[u8]) -> Option<TearDownResult> {
-    if response.status != 200 {
+pub fn parse_tear_down_response(response: &Response, body: &[u8]) -> Option<TearDownResult> {
+    if response.status != head::OK {
         return None;
     }
     serde_json::from_slice(body).ok()
@@ -150,7 +151,7 @@
 
 /// The result of a set-up, from its complete response.
 #[must_use]
-pub fn set_up_answer(response: &Response, body: &[u8]) -> SetUpResult {
+pub fn parse_set_up_response(response: &Response, body: &[u8]) -> SetUpResult {
     let report = load_report(response);
     match response.status {
         200 | 201 => SetUpResult::Started(report),
--- a/crates/testbed/src/player/attempt.rs
+++ b/crates/testbed/src/player/attempt.rs
@@ -2,7 +2,7 @@
 use super::{Client, FrontAddress, PlayerPool, Visit};
 use crate::record::{PlayerReply, Seen};
 use crankpaddle_net::{clock, sleep};
-use crankpaddle_server_protocol::sessions::bill;
+use crankpaddle_server_protocol::sessions::billing_key;
 use crankpaddle_session_api::client::{self, ClientEvent};
 use crankpaddle_session_api::methods::Open;
 use crankpaddle_time::Time;
@@ -95,7 +95,7 @@
         self.recorder.see(Seen::OpenSent {
             call,
             front: attempt.front.number,
-            bill: bill(&attempt.key),
+            bill: billing_key(&attempt.key),
             class: attempt.visit.class.number,
             deadline,
         });
