--- a/crates/daemon/tests/support/harness.rs
+++ b/crates/daemon/tests/support/harness.rs
@@ -77,6 +77,18 @@
     }
 
     /// Changes how all servers behave.
+    /// Ends a server's process and waits until its port is closed.
+    ///
+    /// Why it waits: the stand-in closes its listener in a coroutine of its own; until then connections are accepted, and
+    /// reset a moment later instead of refused.
+    pub(crate) fn crash(&self, id: u32) {
+        self.fleet.crash(id);
+        let address = self.fleet.servers[id as usize].address;
+        wait_until("the port to be closed", || {
+            TcpStream::connect(address).is_err()
+        });
+    }
+
     pub(crate) fn set_modes(&self, change: impl Fn(&mut Mode)) {
         for id in 0..12 {
             self.fleet.set_mode(id, &change);
