--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use crankpaddle_membership::{MemberChange, MemberState, Membership, MembershipConfig, Output};
+use crankpaddle_time::Time;
 use rustix::process::Signal;
 use std::net::{SocketAddr, UdpSocket};
 use std::path::Path;
@@ -60,12 +61,12 @@
             epoch: 1,
             incarnation: 1,
             key: u128::from_str_radix(KEY, 16).unwrap().to_be_bytes(),
-            probe_interval: PROBE_INTERVAL.as_nanos() as u64,
-            probe_timeout: PROBE_INTERVAL.as_nanos() as u64 * 2 / 5,
+            probe_interval: PROBE_INTERVAL,
+            probe_timeout: PROBE_INTERVAL * 2 / 5,
             ..MembershipConfig::default()
         };
         Observer {
-            membership: Membership::new(config, 1, 0),
+            membership: Membership::new(config, 1, Time(0)),
             socket,
             started_at: Instant::now(),
             changes: Vec::new(),
@@ -76,9 +77,9 @@
         self.socket.local_addr().unwrap()
     }
 
-    /// Nanoseconds since its start: the membership's clock.
-    fn now(&self) -> u64 {
-        self.started_at.elapsed().as_nanos() as u64
+    /// The membership's clock, which begins at the observer's start.
+    fn now(&self) -> Time {
+        Time(self.started_at.elapsed().as_nanos() as u64)
     }
 
     /// Receives one datagram at most, and lets timers expire.
--- a/crates/daemon/src/http_responses.rs
+++ b/crates/daemon/src/http_responses.rs
@@ -7,6 +7,7 @@
 use crankpaddle_net::{clock, recv_until};
 use crankpaddle_time::Time;
 use may::sync::mpsc::{channel, Sender};
+use std::time::Duration;
 
 /// A header field.
 type Field<'a> = (&'a str, &'a str);
@@ -111,7 +112,7 @@
         let Some(membership) = &self.shared.membership else {
             return self.problem(404, "this front has no peers in its configuration", &[]);
         };
-        match membership.members(clock::now().as_nanos().saturating_add(REPLY_TIMEOUT)) {
+        match membership.members(clock::now() + Duration::from_nanos(REPLY_TIMEOUT)) {
             Some(members) => {
                 let body = serde_json::to_string(&members).unwrap_or_default();
                 self.success(200, JSON, &body)
--- a/crates/daemon/src/membership_runner.rs
+++ b/crates/daemon/src/membership_runner.rs
@@ -43,10 +43,10 @@
 
 impl MembershipHandle {
     /// This front's view of its peers; `None` where there is no reply until `deadline`. Call in a coroutine.
-    pub(crate) fn members(&self, deadline: u64) -> Option<Members> {
+    pub(crate) fn members(&self, deadline: Time) -> Option<Members> {
         let (reply, replies) = channel();
         self.0.send(Command::DescribeMembers { reply }).ok()?;
-        recv_until(&replies, Time(deadline)).ok()
+        recv_until(&replies, deadline).ok()
     }
 
     /// Announces to the peers that this front leaves. Call on a thread, not in a coroutine.
@@ -109,6 +109,7 @@
 ) -> MembershipConfig {
     let unix_time = SystemTime::now().duration_since(UNIX_EPOCH);
     let epoch = unix_time.unwrap_or(Duration::ZERO).as_millis() as u64;
+    let probe_interval = Duration::from_nanos(config.probe_every);
     MembershipConfig {
         name: config.name.clone(),
         address: own_address.to_string(),
@@ -116,8 +117,8 @@
         incarnation: rand::random(),
         key,
         seeds: config.seeds.iter().map(SocketAddr::to_string).collect(),
-        probe_interval: config.probe_every,
-        probe_timeout: config.probe_every * 2 / 5,
+        probe_interval,
+        probe_timeout: probe_interval * 2 / 5,
         datagrams: f64::from(config.datagrams),
         bytes: config.bytes as f64,
         ..MembershipConfig::default()
@@ -134,7 +135,7 @@
             read_datagrams(&reader_socket, &commands);
         });
         let runner = MembershipRunner {
-            membership: Membership::new(self.config, rand::random(), clock::now().as_nanos()),
+            membership: Membership::new(self.config, rand::random(), clock::now()),
             socket: self.socket,
             routes: self.routes,
             outputs: Vec::new(),
@@ -181,10 +182,10 @@
 
     /// Handles the commands that come until the next deadline, then the timers.
     fn run_once(&mut self, inbox: &Receiver<Command>) -> ControlFlow<()> {
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         let deadline = self.membership.next_expiry();
         if deadline > now {
-            match recv_until(inbox, Time(deadline)) {
+            match recv_until(inbox, deadline) {
                 Ok(command) => self.handle_command(command)?,
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return ControlFlow::Break(()),
@@ -195,8 +196,7 @@
         for command in commands {
             self.handle_command(command)?;
         }
-        self.membership
-            .expire(clock::now().as_nanos(), &mut self.outputs);
+        self.membership.expire(clock::now(), &mut self.outputs);
         self.perform_outputs();
         ControlFlow::Continue(())
     }
@@ -207,17 +207,15 @@
             Command::Receive { from, bytes } => {
                 let from = from.to_string();
                 self.membership
-                    .receive(clock::now().as_nanos(), &from, &bytes, &mut self.outputs);
+                    .receive(clock::now(), &from, &bytes, &mut self.outputs);
                 self.perform_outputs();
             }
             Command::DescribeMembers { reply } => {
-                let members =
-                    describe_members(clock::now().as_nanos(), &self.membership, &self.history);
+                let members = describe_members(clock::now(), &self.membership, &self.history);
                 let _ = reply.send(members); // The requester may be gone.
             }
             Command::Leave { done } => {
-                self.membership
-                    .leave(clock::now().as_nanos(), &mut self.outputs);
+                self.membership.leave(clock::now(), &mut self.outputs);
                 self.perform_outputs();
                 let _ = done.send(()); // The requester may have timed out.
                 return ControlFlow::Break(());
@@ -277,7 +275,7 @@
                 "member state changed"
             ),
         }
-        self.history.record(clock::now().as_nanos(), change);
+        self.history.record(clock::now(), change);
     }
 
     fn report_fleet_size(&mut self) {
--- a/crates/daemon/src/membership_status.rs
+++ b/crates/daemon/src/membership_status.rs
@@ -1,16 +1,14 @@
 //! The reply to `GET /members`: this front's view of its peers.
 use crankpaddle_api::describe::{Members, OwnStanding, Peer, PeerState, PeerTurn};
 use crankpaddle_membership::{LocalHealth, Member, MemberChange, MemberState, Membership};
+use crankpaddle_time::Time;
 use std::collections::VecDeque;
 
-const MICROSECOND: u64 = 1000;
-const MILLISECOND: u64 = 1_000_000;
 /// Changes that are reported at most.
 const MOST_CHANGES: usize = 256;
 
 struct RecordedChange {
-    /// Clock time, nanoseconds.
-    at: u64,
+    at: Time,
     change: MemberChange,
 }
 
@@ -23,7 +21,7 @@
 }
 
 impl ChangeHistory {
-    pub(crate) fn record(&mut self, now: u64, change: MemberChange) {
+    pub(crate) fn record(&mut self, now: Time, change: MemberChange) {
         self.total += 1;
         if self.changes.len() == MOST_CHANGES {
             self.changes.pop_front();
@@ -31,12 +29,12 @@
         self.changes.push_back(RecordedChange { at: now, change });
     }
 
-    fn describe(&self, now: u64) -> Vec<PeerTurn> {
+    fn describe(&self, now: Time) -> Vec<PeerTurn> {
         let first = self.total + 1 - self.changes.len() as u64;
         let numbered = self.changes.iter().zip(first..);
         let described = numbered.map(|(RecordedChange { at, change }, number)| PeerTurn {
             number,
-            ago_ms: now.saturating_sub(*at) / MILLISECOND,
+            ago_ms: now.duration_since(*at).as_millis() as u64,
             name: change.name.clone(),
             state: peer_state(change.state),
             by: change.by.clone(),
@@ -46,9 +44,9 @@
     }
 }
 
-/// The reply, at this clock time in nanoseconds.
+/// The reply, as of `now`.
 pub(crate) fn describe_members(
-    now: u64,
+    now: Time,
     membership: &Membership,
     history: &ChangeHistory,
 ) -> Members {
@@ -71,14 +69,14 @@
     }
 }
 
-fn describe_member(now: u64, member: Member) -> Peer {
+fn describe_member(now: Time, member: Member) -> Peer {
     Peer {
         name: member.name,
         address: member.address,
         state: peer_state(member.state),
-        since_ms: now.saturating_sub(member.since) / MILLISECOND,
+        since_ms: now.duration_since(member.since).as_millis() as u64,
         by: member.by,
-        rtt_us: member.rtt.map(|rtt| rtt / MICROSECOND),
+        rtt_us: member.rtt.map(|rtt| rtt.as_micros() as u64),
     }
 }
 
--- a/crates/daemon/tests/described/http.rs
+++ b/crates/daemon/tests/described/http.rs
@@ -4,6 +4,7 @@
 use crate::transcript::{open_params, reason, RecordedPlayer, Transcript};
 use crankpaddle_membership::{Membership, MembershipConfig, Output};
 use crankpaddle_session_api::Version;
+use crankpaddle_time::Time;
 use serde_json::json;
 use std::net::{SocketAddr, UdpSocket};
 use std::path::{Path, PathBuf};
@@ -63,8 +64,8 @@
         epoch: 1,
         incarnation: 1,
         key: 0x0011_2233_4455_6677_8899_aabb_ccdd_eeff_u128.to_be_bytes(),
-        probe_interval: 100_000_000,
-        probe_timeout: 40_000_000,
+        probe_interval: Duration::from_nanos(100_000_000),
+        probe_timeout: Duration::from_nanos(40_000_000),
         ..MembershipConfig::default()
     };
     std::thread::spawn(move || run_member(config, &socket));
@@ -72,9 +73,9 @@
 }
 
 fn run_member(config: MembershipConfig, socket: &UdpSocket) {
-    let mut membership = Membership::new(config, 1, 0);
+    let mut membership = Membership::new(config, 1, Time(0));
     let started_at = Instant::now();
-    let now = || started_at.elapsed().as_nanos() as u64;
+    let now = || Time(started_at.elapsed().as_nanos() as u64);
     loop {
         let mut outputs = Vec::new();
         let mut buffer = [0u8; 2048];
--- a/crates/fault-simulation/examples/foca.rs
+++ b/crates/fault-simulation/examples/foca.rs
@@ -4,10 +4,11 @@
 //! state and no state for members that left; claims on these don't hold for that reason alone.
 use crankpaddle_fault_simulation::{
     carry_out, front_name, parse, play, Act, ActionError, Case, Cluster, Entry, EventQueue, Link,
-    MemberTransition, NetworkConditions, Power, Rate, SimulatedProcesses, CASES, SECOND,
-    SOCKET_BACKLOG, START_OF_TIME, USUAL_DELAY,
+    MemberTransition, NetworkConditions, Power, Rate, SimulatedProcesses, CASES, SOCKET_BACKLOG,
+    START_OF_TIME, USUAL_DELAY,
 };
 use crankpaddle_membership::{LocalHealth, MemberState};
+use crankpaddle_time::{nanoseconds, Time};
 use foca::{
     AccumulatingRuntime, Config, Foca, Identity, NoCustomBroadcast, OwnedNotification,
     PeriodicParams, PostcardCodec, Timer,
@@ -19,7 +20,8 @@
 use std::time::Duration;
 
 /// Time between two attempts to join through the seeds.
-const JOIN_INTERVAL: u64 = 2 * SECOND;
+const JOIN_INTERVAL: Duration = Duration::from_secs(2);
+const NANOSECONDS_PER_SECOND: f64 = 1e9;
 /// Incarnations of a restarted process are this far apart: `foca` itself raises them by one.
 const INCARNATION_STEP: u64 = 1000;
 
@@ -86,7 +88,7 @@
 }
 
 struct FocaNetwork {
-    now: u64,
+    now: Time,
     nodes: Vec<Node>,
     seeds: Vec<usize>,
     conditions: NetworkConditions,
@@ -179,8 +181,7 @@
                 incarnation,
                 timer,
             };
-            self.queue
-                .schedule(self.now + after.as_nanos() as u64, event);
+            self.queue.schedule(self.now + after, event);
         }
         while let Some(notification) = runtime.to_notify() {
             self.record_transition(number, notification);
@@ -340,7 +341,7 @@
         ))
     }
 
-    fn advance(&mut self, time: u64) {
+    fn advance(&mut self, time: Duration) {
         let until = self.now + time;
         while let Some((at, event)) = self.queue.pop_until(until) {
             self.now = self.now.max(at);
@@ -359,11 +360,11 @@
         self.nodes.len()
     }
 
-    fn now(&self) -> u64 {
+    fn now(&self) -> Time {
         self.now
     }
 
-    fn run(&mut self, time: u64) {
+    fn run(&mut self, time: Duration) {
         self.advance(time);
     }
 
@@ -379,7 +380,7 @@
         None
     }
 
-    fn transitions(&self, from: u64) -> Vec<MemberTransition> {
+    fn transitions(&self, from: Time) -> Vec<MemberTransition> {
         let first = self
             .transitions
             .partition_point(|transition| transition.at < from);
@@ -391,7 +392,8 @@
     }
 
     fn sent(&self) -> Rate {
-        let seconds = (self.now - START_OF_TIME).max(1) as f64 / SECOND as f64;
+        let elapsed = nanoseconds(self.now.duration_since(START_OF_TIME));
+        let seconds = elapsed.max(1) as f64 / NANOSECONDS_PER_SECOND;
         let mut most: Rate = (0.0, 0.0);
         for node in &self.nodes {
             most.0 = most.0.max(node.datagrams_sent as f64 / seconds);
--- a/crates/fault-simulation/src/cluster.rs
+++ b/crates/fault-simulation/src/cluster.rs
@@ -2,12 +2,14 @@
 use crate::error::ActionError;
 use crate::scenario::Act;
 use crankpaddle_membership::{LocalHealth, MemberState};
+use crankpaddle_time::Time;
+use std::time::Duration;
 
 /// A front's view of another changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MemberTransition {
-    /// When, nanoseconds of the cluster's clock.
-    pub at: u64,
+    /// When, by the cluster's clock.
+    pub at: Time,
     /// The front whose view it is.
     pub by: usize,
     /// The front that is viewed.
@@ -32,23 +34,23 @@
     pub lost: u64,
 }
 
-/// The age of an entry, nanoseconds.
+/// The age of an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Entry {
     /// As the reading front computes it.
-    pub reported_age: u64,
+    pub reported_age: Duration,
     /// By the cluster's clock.
-    pub actual_age: u64,
+    pub actual_age: Duration,
 }
 
 /// A fleet of fronts and the network between them.
 pub trait Cluster {
     /// How many fronts there are, whether they run or not.
     fn fronts(&self) -> usize;
-    /// The clock, nanoseconds.
-    fn now(&self) -> u64;
+    /// The present point in time.
+    fn now(&self) -> Time;
     /// Lets time pass.
-    fn run(&mut self, time: u64);
+    fn run(&mut self, time: Duration);
     /// Carries out an action.
     ///
     /// # Errors
@@ -59,7 +61,7 @@
     /// A front's own health.
     fn local_health(&self, at: usize) -> Option<LocalHealth>;
     /// The transitions from a time on, in order.
-    fn transitions(&self, from: u64) -> Vec<MemberTransition>;
+    fn transitions(&self, from: Time) -> Vec<MemberTransition>;
     /// The entry that was written last, as one front knows it; `None`: it does not.
     fn entry(&self, at: usize) -> Option<Entry>;
     /// The highest rate of one front, over the whole run.
@@ -69,7 +71,7 @@
         None
     }
     /// The time that servers whose power failed need to take so many sessions, if only their slow start limits it.
-    fn warm_up_time(&self, _sessions: f64) -> Option<u64> {
+    fn warm_up_time(&self, _sessions: f64) -> Option<Duration> {
         None
     }
 }
--- a/crates/fault-simulation/src/event_queue.rs
+++ b/crates/fault-simulation/src/event_queue.rs
@@ -1,4 +1,5 @@
 //! The queue of a simulation in virtual time.
+use crankpaddle_time::Time;
 use std::cmp::{Ordering, Reverse};
 use std::collections::BinaryHeap;
 
@@ -9,13 +10,13 @@
 }
 
 struct Scheduled<E> {
-    at: u64,
+    at: Time,
     number: u64,
     event: E,
 }
 
 impl<E> Scheduled<E> {
-    fn order(&self) -> (u64, u64) {
+    fn order(&self) -> (Time, u64) {
         (self.at, self.number)
     }
 }
@@ -51,7 +52,7 @@
 
 impl<E> EventQueue<E> {
     /// Schedules an event at a time.
-    pub fn schedule(&mut self, at: u64, event: E) {
+    pub fn schedule(&mut self, at: Time, event: E) {
         self.scheduled += 1;
         self.heap.push(Reverse(Scheduled {
             at,
@@ -61,7 +62,7 @@
     }
 
     /// Takes the first event if its time is not after `until`.
-    pub fn pop_until(&mut self, until: u64) -> Option<(u64, E)> {
+    pub fn pop_until(&mut self, until: Time) -> Option<(Time, E)> {
         let Reverse(first) = self.heap.peek()?;
         if first.at > until {
             return None;
--- a/crates/fault-simulation/src/lib.rs
+++ b/crates/fault-simulation/src/lib.rs
@@ -26,7 +26,16 @@
     carry_out, SimulatedProcesses, SOCKET_BACKLOG, START_OF_TIME, USUAL_DELAY,
 };
 
-/// Nanoseconds of a millisecond.
-pub const MS: u64 = 1_000_000;
-/// Nanoseconds of a second.
-pub const SECOND: u64 = 1000 * MS;
+use crankpaddle_time::nanoseconds;
+use std::time::Duration;
+
+/// A millisecond.
+pub const MS: Duration = Duration::from_millis(1);
+/// A second.
+pub const SECOND: Duration = Duration::from_secs(1);
+const NANOSECONDS_PER_SECOND: f64 = 1e9;
+
+/// A duration in seconds. Why not `as_secs_f64`: it rounds otherwise, and simulated figures are compared to the last digit.
+fn seconds(duration: Duration) -> f64 {
+    nanoseconds(duration) as f64 / NANOSECONDS_PER_SECOND
+}
--- a/crates/fault-simulation/src/network_conditions.rs
+++ b/crates/fault-simulation/src/network_conditions.rs
@@ -4,11 +4,13 @@
 mod tests;
 
 use crate::scenario::{Act, DelayRange, Fronts};
-use crate::SECOND;
+use crate::NANOSECONDS_PER_SECOND;
+use crankpaddle_time::Time;
 use std::collections::HashMap;
+use std::time::Duration;
 
 /// A datagram that would wait longer than this for a link with a bandwidth is dropped.
-const MAX_QUEUEING: u64 = SECOND;
+const MAX_QUEUEING: Duration = Duration::from_secs(1);
 
 /// Whether a datagram from one front to another passes now.
 pub type LinkFilter = Box<dyn Fn(usize, usize) -> bool + Send>;
@@ -22,7 +24,7 @@
     pub to: usize,
 }
 
-/// The conditions of a network. Times are nanoseconds.
+/// The conditions of a network.
 pub struct NetworkConditions {
     /// Part of the datagrams that is lost.
     pub loss: f64,
@@ -37,7 +39,7 @@
     /// Fronts whose datagrams arrive so many times.
     pub floods: HashMap<usize, u32>,
     cuts: Vec<Cut>,
-    busy_until: HashMap<Link, u64>, // Of links with a bandwidth.
+    busy_until: HashMap<Link, Time>, // Of links with a bandwidth.
 }
 
 /// Nothing passes from these fronts to those.
@@ -118,11 +120,11 @@
     /// When the copies of a datagram arrive; none where it is lost.
     pub fn arrivals(
         &mut self,
-        now: u64,
+        now: Time,
         link: Link,
         bytes: usize,
         rng: &mut oorandom::Rand64,
-    ) -> Vec<u64> {
+    ) -> Vec<Time> {
         let mut arrivals = Vec::new();
         if !(self.link_filter)(link.from, link.to) {
             return arrivals;
@@ -145,17 +147,17 @@
     }
 
     /// When a datagram has passed the link's bandwidth; `None` if its queue is full.
-    fn departure(&mut self, now: u64, link: Link, bytes: usize) -> Option<u64> {
+    fn departure(&mut self, now: Time, link: Link, bytes: usize) -> Option<Time> {
         if self.bandwidth.is_infinite() {
             return Some(now);
         }
         let busy_until = self.busy_until.entry(link).or_insert(now);
         let begins = (*busy_until).max(now);
-        if begins - now > MAX_QUEUEING {
+        if begins.duration_since(now) > MAX_QUEUEING {
             return None;
         }
-        let transmission = (bytes as f64 / self.bandwidth * SECOND as f64) as u64;
-        *busy_until = begins + transmission;
+        let transmission = bytes as f64 / self.bandwidth * NANOSECONDS_PER_SECOND;
+        *busy_until = begins + Duration::from_nanos(transmission as u64);
         Some(*busy_until)
     }
 }
--- a/crates/fault-simulation/src/network_conditions/tests.rs
+++ b/crates/fault-simulation/src/network_conditions/tests.rs
@@ -1,8 +1,16 @@
 use super::{Link, NetworkConditions};
 use crate::scenario::DelayRange;
+use crankpaddle_time::Time;
+use std::time::Duration;
 
-const NO_DELAY: DelayRange = DelayRange { min: 0, max: 0 };
-const SHORT_DELAY: DelayRange = DelayRange { min: 1, max: 9 };
+const NO_DELAY: DelayRange = DelayRange {
+    min: Duration::from_nanos(0),
+    max: Duration::from_nanos(0),
+};
+const SHORT_DELAY: DelayRange = DelayRange {
+    min: Duration::from_nanos(1),
+    max: Duration::from_nanos(9),
+};
 
 #[test]
 fn a_link_at_its_bandwidth_queues_then_drops_and_another_link_is_free() {
@@ -11,21 +19,21 @@
         bandwidth: 1000.0,
         ..NetworkConditions::good(NO_DELAY)
     };
-    let arrivals: Vec<Vec<u64>> = (0..4)
-        .map(|_| conditions.arrivals(0, Link { from: 0, to: 1 }, 500, &mut rng))
+    let arrivals: Vec<Vec<Time>> = (0..4)
+        .map(|_| conditions.arrivals(Time(0), Link { from: 0, to: 1 }, 500, &mut rng))
         .collect();
     assert_eq!(
         arrivals,
         [
-            vec![500_000_000],
-            vec![1_000_000_000],
-            vec![1_500_000_000],
+            vec![Time(500_000_000)],
+            vec![Time(1_000_000_000)],
+            vec![Time(1_500_000_000)],
             vec![]
         ]
     );
     assert_eq!(
-        conditions.arrivals(0, Link { from: 1, to: 0 }, 500, &mut rng),
-        [500_000_000]
+        conditions.arrivals(Time(0), Link { from: 1, to: 0 }, 500, &mut rng),
+        [Time(500_000_000)]
     );
 }
 
@@ -37,33 +45,33 @@
         duplicated: 0.5,
         ..NetworkConditions::good(SHORT_DELAY)
     };
-    let all: Vec<u64> = (0..10_000)
-        .flat_map(|_| conditions.arrivals(0, Link { from: 0, to: 1 }, 1, &mut rng))
+    let all: Vec<Time> = (0..10_000)
+        .flat_map(|_| conditions.arrivals(Time(0), Link { from: 0, to: 1 }, 1, &mut rng))
         .collect();
     assert!(
         (all.len() as f64 / 10_500.0 - 1.0).abs() < 0.05,
         "{}",
         all.len()
     );
-    assert!(all.iter().all(|at| (1..=9).contains(at)));
+    assert!(all.iter().all(|at| (Time(1)..=Time(9)).contains(at)));
     let mut conditions = NetworkConditions {
         floods: [(3, 50)].into(),
         ..NetworkConditions::good(SHORT_DELAY)
     };
     assert_eq!(
         conditions
-            .arrivals(0, Link { from: 3, to: 1 }, 1, &mut rng)
+            .arrivals(Time(0), Link { from: 3, to: 1 }, 1, &mut rng)
             .len(),
         50
     );
     assert_eq!(
         conditions
-            .arrivals(0, Link { from: 1, to: 3 }, 1, &mut rng)
+            .arrivals(Time(0), Link { from: 1, to: 3 }, 1, &mut rng)
             .len(),
         1
     );
     conditions.link_filter = Box::new(|from, _| from != 3);
     assert!(conditions
-        .arrivals(0, Link { from: 3, to: 1 }, 1, &mut rng)
+        .arrivals(Time(0), Link { from: 3, to: 1 }, 1, &mut rng)
         .is_empty());
 }
--- a/crates/fault-simulation/src/runner/checks.rs
+++ b/crates/fault-simulation/src/runner/checks.rs
@@ -2,20 +2,24 @@
 use super::ClaimResult;
 use crate::cluster::{all_see, Cluster, MemberTransition};
 use crate::scenario::{Bound, Claim, Fronts};
-use crate::{MS, SECOND};
+use crate::seconds;
 use crankpaddle_membership::{LocalHealth, MemberState};
+use crankpaddle_time::Time;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 /// Time between two looks at whether a claim holds.
-const POLL_INTERVAL: u64 = 50 * MS;
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// A claim is awaited for this multiple of its bound, so that the time is known by which it is missed.
-const PATIENCE: u64 = 2;
+const PATIENCE: u32 = 2;
+/// Reported where no front knows the entry.
+const UNKNOWN_AGE_ERROR: Duration = Duration::from_nanos(u64::MAX);
 
 /// Checks a claim; time passes until it holds. `mark`: the time from which accusations and restarts count.
 pub(super) fn check<C: Cluster + ?Sized>(
     name: &str,
     claim: &Claim,
-    mark: u64,
+    mark: Time,
     cluster: &mut C,
 ) -> ClaimResult {
     let mut check = Check {
@@ -50,7 +54,7 @@
 
 struct Check<'a, C: ?Sized> {
     name: &'a str,
-    mark: u64,
+    mark: Time,
     fleet: usize,
     cluster: &'a mut C,
 }
@@ -119,12 +123,12 @@
             progress.lost > 0 && settled as f64 >= progress.lost as f64 * part
         });
         // The time counts from the mark, not from the claim.
-        let took = reached.map(|_| self.cluster.now().saturating_sub(self.mark));
+        let took = reached.map(|_| self.cluster.now().duration_since(self.mark));
         let progress = self.cluster.recovery_progress(paid).unwrap_or_default();
         let warm_up = self
             .cluster
             .warm_up_time(progress.restored as f64)
-            .map(seconds)
+            .map(display_seconds)
             .unwrap_or_default();
         let detail = format!(
             " ({} lost theirs, {} watch again, {} left without; servers' warming alone allows it at {warm_up})",
@@ -133,7 +137,7 @@
         self.timed_result(bound, took, &detail)
     }
 
-    fn entry_known(&mut self, part: f64, bound: Bound, max_age_error: u64) -> ClaimResult {
+    fn entry_known(&mut self, part: f64, bound: Bound, max_age_error: Duration) -> ClaimResult {
         let fleet = self.fleet;
         // The first front is the one that writes.
         let took = self.wait_until(bound, |cluster| {
@@ -146,54 +150,54 @@
             .filter_map(|front| self.cluster.entry(front))
             .map(|entry| entry.reported_age.abs_diff(entry.actual_age))
             .max()
-            .unwrap_or(u64::MAX);
-        let detail = format!(", ages off by {} ms at most", age_error / MS);
+            .unwrap_or(UNKNOWN_AGE_ERROR);
+        let detail = format!(", ages off by {} ms at most", age_error.as_millis());
         let mut result = self.timed_result(bound, took, &detail);
         result.holds &= age_error <= max_age_error;
         result
     }
 
     /// Lets time pass until something holds; how long it took.
-    fn wait_until(&mut self, bound: Bound, holds: impl Fn(&C) -> bool) -> Option<u64> {
+    fn wait_until(&mut self, bound: Bound, holds: impl Fn(&C) -> bool) -> Option<Duration> {
         let longest = PATIENCE * bound.of(self.fleet);
         let started = self.cluster.now();
-        while self.cluster.now() - started <= longest {
+        while self.cluster.now().duration_since(started) <= longest {
             if holds(self.cluster) {
-                return Some(self.cluster.now() - started);
+                return Some(self.cluster.now().duration_since(started));
             }
             self.cluster.run(POLL_INTERVAL);
         }
         None
     }
 
-    fn timed_result(&self, bound: Bound, took: Option<u64>, detail: &str) -> ClaimResult {
+    fn timed_result(&self, bound: Bound, took: Option<Duration>, detail: &str) -> ClaimResult {
         let bound = bound.of(self.fleet);
-        let time = took.map_or("not at all".to_owned(), seconds);
+        let time = took.map_or("not at all".to_owned(), display_seconds);
         ClaimResult {
-            claim: format!("{} within {}", self.name, seconds(bound)),
+            claim: format!("{} within {}", self.name, display_seconds(bound)),
             measured: time + detail,
             holds: took.is_some_and(|took| took <= bound),
         }
     }
 }
 
-fn seconds(time: u64) -> String {
-    format!("{:.1} s", time as f64 / SECOND as f64)
+fn display_seconds(time: Duration) -> String {
+    format!("{:.1} s", seconds(time))
 }
 
 /// When half of the transitions that count had happened, from a time on.
 fn median_time(
     transitions: &[MemberTransition],
-    from: u64,
+    from: Time,
     counts: impl Fn(&MemberTransition) -> bool,
 ) -> String {
-    let mut times: Vec<u64> = transitions
+    let mut times: Vec<Duration> = transitions
         .iter()
         .filter(|transition| counts(transition))
-        .map(|transition| transition.at.saturating_sub(from))
+        .map(|transition| transition.at.duration_since(from))
         .collect();
     times.sort_unstable();
     times.get(times.len() / 2).map_or(String::new(), |median| {
-        format!(", half of it at {}", seconds(*median))
+        format!(", half of it at {}", display_seconds(*median))
     })
 }
--- a/crates/fault-simulation/src/scenario.rs
+++ b/crates/fault-simulation/src/scenario.rs
@@ -13,13 +13,15 @@
 pub use fronts::Fronts;
 pub use parser::parse;
 
+use std::time::Duration;
+
 /// A step of a case.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
     /// An action is carried out.
     Act(Act),
-    /// Time passes, nanoseconds.
-    Run(u64),
+    /// Time passes.
+    Run(Duration),
     /// Accusations and restarts count from here on.
     Mark,
     /// A claim is checked.
--- a/crates/fault-simulation/src/scenario/action.rs
+++ b/crates/fault-simulation/src/scenario/action.rs
@@ -1,7 +1,9 @@
 //! Actions: what is done to fronts, hosts and the network.
 use super::Fronts;
+use crankpaddle_time::nanoseconds;
+use std::time::Duration;
 
-/// An action of a scenario. Times are nanoseconds.
+/// An action of a scenario.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Act {
     /// They start, from nothing.
@@ -15,7 +17,7 @@
     /// They are resumed.
     GoOn(Fronts),
     /// They are killed and started again after a time.
-    Restart(Fronts, u64),
+    Restart(Fronts, Duration),
     /// The conditions of the network from now on.
     Net {
         /// Part of the datagrams that is lost.
@@ -90,18 +92,25 @@
     Torn,
 }
 
-/// The range of a datagram's transit time, nanoseconds.
+/// The range of a datagram's transit time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DelayRange {
     /// The least.
-    pub min: u64,
+    pub min: Duration,
     /// The most.
-    pub max: u64,
+    pub max: Duration,
 }
 
 impl DelayRange {
+    /// No delay.
+    pub const NONE: DelayRange = DelayRange {
+        min: Duration::ZERO,
+        max: Duration::ZERO,
+    };
+
     /// Draws a transit time, uniformly.
-    pub(crate) fn draw(self, rng: &mut oorandom::Rand64) -> u64 {
-        self.min + (rng.rand_float() * (self.max - self.min) as f64) as u64
+    pub(crate) fn draw(self, rng: &mut oorandom::Rand64) -> Duration {
+        let part = rng.rand_float() * nanoseconds(self.max - self.min) as f64;
+        self.min + Duration::from_nanos(part as u64)
     }
 }
--- a/crates/fault-simulation/src/scenario/claim.rs
+++ b/crates/fault-simulation/src/scenario/claim.rs
@@ -1,20 +1,23 @@
 //! Claims: what is to hold of a fleet, and within which time.
 use super::Fronts;
 use crankpaddle_membership::{LocalHealth, MemberState};
+use crankpaddle_time::nanoseconds;
+use std::time::Duration;
 
 /// How long something may take; longer in a larger fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bound {
-    pub(super) base: u64,
-    pub(super) per_decade: u64, // For each power of ten of the fleet's size.
+    pub(super) base: Duration,
+    pub(super) per_decade: Duration, // For each power of ten of the fleet's size.
 }
 
 impl Bound {
-    /// The bound in a fleet of so many, nanoseconds.
+    /// The bound in a fleet of so many.
     #[must_use]
-    pub fn of(&self, fleet: usize) -> u64 {
+    pub fn of(&self, fleet: usize) -> Duration {
         let decades = (fleet as f64).log10().max(1.0);
-        self.base + (self.per_decade as f64 * decades) as u64
+        let growth = nanoseconds(self.per_decade) as f64 * decades;
+        self.base + Duration::from_nanos(growth as u64)
     }
 }
 
@@ -67,8 +70,8 @@
         part: f64,
         /// The time that it may take.
         bound: Bound,
-        /// The largest error of the entry's age, nanoseconds.
-        max_age_error: u64,
+        /// The largest error of the entry's age.
+        max_age_error: Duration,
     },
     /// Of the players that lost a session with the power, a part has one again or left, since the mark.
     Recovered {
--- a/crates/fault-simulation/src/scenario/parser.rs
+++ b/crates/fault-simulation/src/scenario/parser.rs
@@ -3,6 +3,7 @@
 use crankpaddle_membership::{LocalHealth, MemberState};
 use crankpaddle_textproto::{Checks, Problem};
 use std::collections::HashMap;
+use std::time::Duration;
 
 #[allow(missing_docs, unreachable_pub)] // Generated; the schema has comments of its own.
 mod schema {
@@ -66,7 +67,7 @@
         };
         let path = |field: &str| format!("{at}.{field}");
         let act = match kind {
-            Raw::Run(time) => return Step::Run(self.checks.time(&path("run"), time)),
+            Raw::Run(time) => return Step::Run(self.time(&path("run"), time)),
             Raw::Mark(_) => return Step::Mark,
             Raw::See(raw) => return self.see(&path("see"), raw),
             Raw::Accused(raw) => return self.accused(&path("accused"), raw),
@@ -112,24 +113,26 @@
         let Some(raw) = raw else {
             self.checks.wrong(path, "has no bound");
             return Bound {
-                base: 0,
-                per_decade: 0,
+                base: Duration::ZERO,
+                per_decade: Duration::ZERO,
             };
         };
         Bound {
-            base: self
-                .checks
-                .time(&format!("{path}.bound.within"), &raw.within),
+            base: self.time(&format!("{path}.bound.within"), &raw.within),
             per_decade: self.optional_time(&format!("{path}.bound.more"), &raw.more),
         }
     }
 
-    /// A time; 0 where there is none.
-    fn optional_time(&mut self, path: &str, text: &str) -> u64 {
+    fn time(&mut self, path: &str, text: &str) -> Duration {
+        Duration::from_nanos(self.checks.time(path, text))
+    }
+
+    /// A time; zero where none is stated.
+    fn optional_time(&mut self, path: &str, text: &str) -> Duration {
         if text.is_empty() {
-            return 0;
+            return Duration::ZERO;
         }
-        self.checks.time(path, text)
+        self.time(path, text)
     }
 
     /// A part from 0 to 1.
@@ -142,7 +145,7 @@
 impl Parser<'_, '_> {
     fn restart(&mut self, path: &str, raw: &schema::Restart) -> Act {
         let fronts = self.fronts(&format!("{path}.fronts"), &raw.fronts);
-        let after = self.checks.time(&format!("{path}.after"), &raw.after);
+        let after = self.time(&format!("{path}.after"), &raw.after);
         Act::Restart(fronts, after)
     }
 
@@ -161,7 +164,7 @@
         }
         let least = format!("{path}.least");
         let min = self.optional_time(&least, &raw.least);
-        let max = self.checks.time(&format!("{path}.most"), &raw.most);
+        let max = self.time(&format!("{path}.most"), &raw.most);
         self.checks
             .must(min <= max, &least, "is more than the most");
         Some(DelayRange {
@@ -314,9 +317,7 @@
         let claim = Claim::EntryKnown {
             part: self.part(&format!("{path}.part"), raw.part),
             bound: self.bound(path, raw.bound.as_ref()),
-            max_age_error: self
-                .checks
-                .time(&format!("{path}.age_within"), &raw.age_within),
+            max_age_error: self.time(&format!("{path}.age_within"), &raw.age_within),
         };
         self.claim(path, &raw.claim, claim)
     }
--- a/crates/fault-simulation/src/simulated_network.rs
+++ b/crates/fault-simulation/src/simulated_network.rs
@@ -11,12 +11,13 @@
 use crate::network_conditions::{Link, NetworkConditions};
 use crate::scenario::Case;
 use crate::simulated_process::{SOCKET_BACKLOG, START_OF_TIME, USUAL_DELAY};
-use crate::MS;
 use crankpaddle_membership::{MemberState, Membership, MembershipConfig, Output};
+use crankpaddle_time::Time;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// Time between two looks at whether a condition holds.
-const POLL_INTERVAL: u64 = 50 * MS;
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// The epoch of restarted processes: their host's clock was set back.
 const RESTART_EPOCH: u64 = 500_000;
 /// Incarnations of restarted processes are counted from here on.
@@ -38,7 +39,7 @@
     address: String,
     seeds: Vec<usize>,
     backlog: Vec<SentDatagram>, // Received while it was paused.
-    expiry: u64,                // Of the timer that is scheduled.
+    expiry: Time,               // Of the timer that is scheduled.
 }
 
 /// What previous incarnations of a process sent.
@@ -50,8 +51,8 @@
 
 /// The network and the processes on it.
 pub struct SimulatedNetwork {
-    /// The virtual clock, nanoseconds.
-    pub now: u64,
+    /// The virtual clock.
+    pub now: Time,
     /// The processes, by number.
     pub nodes: Vec<SimulatedNode>,
     /// Changes of members' views, in order.
@@ -75,7 +76,7 @@
 /// The entry that was written last.
 struct LastWrite {
     node: usize,
-    at: u64,
+    at: Time,
 }
 
 impl SimulatedNetwork {
@@ -137,7 +138,7 @@
             address: address.clone(),
             seeds,
             backlog: Vec::new(),
-            expiry: u64::MAX,
+            expiry: Time::MAX,
         };
         let number = match self.numbers.get(&address).copied() {
             Some(number) => self.replace(number, node),
@@ -168,7 +169,7 @@
     pub fn with_member<T>(
         &mut self,
         number: usize,
-        action: impl FnOnce(&mut Membership, u64, &mut Vec<Output>) -> T,
+        action: impl FnOnce(&mut Membership, Time, &mut Vec<Output>) -> T,
     ) -> T {
         let mut out = Vec::new();
         let result = action(&mut self.nodes[number].membership, self.now, &mut out);
@@ -226,14 +227,14 @@
     fn schedule_expiry(&mut self, number: usize) {
         let node = &mut self.nodes[number];
         let at = node.membership.next_expiry().max(self.now);
-        if at != node.expiry && at < u64::MAX {
+        if at != node.expiry && at < Time::MAX {
             node.expiry = at;
             self.queue.schedule(at, Event::Expiry { node: number });
         }
     }
 
     /// Lets virtual time pass.
-    pub fn advance(&mut self, time: u64) {
+    pub fn advance(&mut self, time: Duration) {
         let until = self.now + time;
         while let Some((at, event)) = self.queue.pop_until(until) {
             self.now = self.now.max(at);
@@ -246,10 +247,10 @@
     }
 
     /// Runs a member's timers, unless the event was overtaken by another one.
-    fn expire(&mut self, number: usize, at: u64) {
+    fn expire(&mut self, number: usize, at: Time) {
         let node = &mut self.nodes[number];
         if node.is_running && !node.is_paused && node.expiry == at {
-            node.expiry = u64::MAX;
+            node.expiry = Time::MAX;
             self.with_member(number, Membership::expire);
         }
     }
@@ -299,13 +300,13 @@
     /// Advances until a condition holds; how long it took.
     pub fn advance_until(
         &mut self,
-        within: u64,
+        within: Duration,
         holds: impl Fn(&SimulatedNetwork) -> bool,
-    ) -> Option<u64> {
+    ) -> Option<Duration> {
         let started = self.now;
-        while self.now - started <= within {
+        while self.now.duration_since(started) <= within {
             if holds(self) {
-                return Some(self.now - started);
+                return Some(self.now.duration_since(started));
             }
             self.advance(POLL_INTERVAL);
         }
@@ -314,7 +315,7 @@
 
     /// Members that were declared dead from a time on, each with the number of the member that saw it so.
     #[must_use]
-    pub fn accusations(&self, from: u64) -> Vec<(usize, String)> {
+    pub fn accusations(&self, from: Time) -> Vec<(usize, String)> {
         self.changes
             .iter()
             .filter(|record| record.at >= from && record.change.state == MemberState::Dead)
--- a/crates/fault-simulation/src/simulated_network/processes.rs
+++ b/crates/fault-simulation/src/simulated_network/processes.rs
@@ -7,9 +7,11 @@
 use crate::error::ActionError;
 use crate::network_conditions::NetworkConditions;
 use crate::scenario::{Act, Power};
+use crate::seconds;
 use crate::simulated_process::{carry_out, SimulatedProcesses, START_OF_TIME};
-use crate::SECOND;
 use crankpaddle_membership::{LocalHealth, MemberState, Membership, MembershipConfig};
+use crankpaddle_time::Time;
+use std::time::Duration;
 
 /// The key of the entry that a scenario writes.
 const ENTRY_KEY: u8 = 1;
@@ -68,7 +70,7 @@
         Err(ActionError::Unsupported(what.to_owned()))
     }
 
-    fn advance(&mut self, time: u64) {
+    fn advance(&mut self, time: Duration) {
         SimulatedNetwork::advance(self, time);
     }
 
@@ -82,11 +84,11 @@
         self.nodes.len()
     }
 
-    fn now(&self) -> u64 {
+    fn now(&self) -> Time {
         self.now
     }
 
-    fn run(&mut self, time: u64) {
+    fn run(&mut self, time: Duration) {
         self.advance(time);
     }
 
@@ -102,7 +104,7 @@
         Some(self.nodes[at].membership.local_health())
     }
 
-    fn transitions(&self, from: u64) -> Vec<MemberTransition> {
+    fn transitions(&self, from: Time) -> Vec<MemberTransition> {
         let first = self.changes.partition_point(|record| record.at < from);
         let transition = |record: &super::ChangeRecord| {
             Some(MemberTransition {
@@ -125,12 +127,13 @@
         let entry = reader.entry(self.now, &front_name(write.node), ENTRY_KEY)?;
         Some(Entry {
             reported_age: entry.age,
-            actual_age: self.now - write.at,
+            actual_age: self.now.duration_since(write.at),
         })
     }
 
     fn sent(&self) -> Rate {
-        let seconds = (self.now - START_OF_TIME).max(1) as f64 / SECOND as f64;
+        let elapsed = self.now.duration_since(START_OF_TIME);
+        let seconds = seconds(elapsed.max(Duration::from_nanos(1)));
         let rate = |(node, before): (&SimulatedNode, &SentBefore)| {
             let counters = node.membership.counters();
             (
--- a/crates/fault-simulation/src/simulated_network/records.rs
+++ b/crates/fault-simulation/src/simulated_network/records.rs
@@ -1,5 +1,6 @@
 //! What a simulated network records.
 use crankpaddle_membership::{LocalHealth, MemberChange};
+use crankpaddle_time::Time;
 
 /// A datagram in transit.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,7 +17,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ChangeRecord {
     /// When, virtual time.
-    pub at: u64,
+    pub at: Time,
     /// The number of the member whose view it is.
     pub by: usize,
     /// The change.
@@ -27,7 +28,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HealthRecord {
     /// When, virtual time.
-    pub at: u64,
+    pub at: Time,
     /// The number of the member.
     pub node: usize,
     /// Its health now.
--- a/crates/fault-simulation/src/simulated_process.rs
+++ b/crates/fault-simulation/src/simulated_process.rs
@@ -2,17 +2,18 @@
 use crate::error::ActionError;
 use crate::network_conditions::NetworkConditions;
 use crate::scenario::{Act, DelayRange, Fronts, Power};
-use crate::{MS, SECOND};
+use crankpaddle_time::Time;
+use std::time::Duration;
 
 /// The usual transit time of a datagram.
 pub const USUAL_DELAY: DelayRange = DelayRange {
-    min: MS / 5,
-    max: 2 * MS,
+    min: Duration::from_micros(200),
+    max: Duration::from_millis(2),
 };
 /// Datagrams that a paused process's socket buffers; further ones are dropped.
 pub const SOCKET_BACKLOG: usize = 200;
 /// When the virtual clock begins.
-pub const START_OF_TIME: u64 = 100 * SECOND;
+pub const START_OF_TIME: Time = Time(100_000_000_000);
 
 /// Control over simulated processes.
 pub trait SimulatedProcesses {
@@ -41,7 +42,7 @@
     /// There are no hosts here.
     fn act_on_hosts(&mut self, power: &Power) -> Result<(), ActionError>;
     /// Lets virtual time pass.
-    fn advance(&mut self, time: u64);
+    fn advance(&mut self, time: Duration);
     /// The network between the processes.
     fn conditions(&mut self) -> &mut NetworkConditions;
 }
--- a/crates/fault-simulation/tests/claims.rs
+++ b/crates/fault-simulation/tests/claims.rs
@@ -3,11 +3,13 @@
     parse, play, Act, ActionError, Cluster, Entry, MemberTransition, Rate, MS,
 };
 use crankpaddle_membership::{LocalHealth, MemberState};
+use crankpaddle_time::Time;
+use std::time::Duration;
 
 /// A cluster whose history is given: who sees whom in which state from when on, and everything else likewise.
 #[derive(Default)]
 struct ScriptedCluster {
-    now: u64,
+    now: Time,
     fronts: usize,
     transitions: Vec<MemberTransition>,
     health_changes: Vec<HealthChange>,
@@ -20,11 +22,11 @@
         self.fronts
     }
 
-    fn now(&self) -> u64 {
+    fn now(&self) -> Time {
         self.now
     }
 
-    fn run(&mut self, time: u64) {
+    fn run(&mut self, time: Duration) {
         self.now += time;
     }
 
@@ -49,7 +51,7 @@
             .map(|change| change.health)
     }
 
-    fn transitions(&self, from: u64) -> Vec<MemberTransition> {
+    fn transitions(&self, from: Time) -> Vec<MemberTransition> {
         self.transitions
             .iter()
             .filter(|t| (from..=self.now).contains(&t.at))
@@ -63,8 +65,8 @@
             .iter()
             .find(|entry| entry.at <= self.now && entry.front == at)?;
         Some(Entry {
-            reported_age: self.now,
-            actual_age: self.now + entry.age_error,
+            reported_age: self.now.duration_since(Time(0)),
+            actual_age: self.now.duration_since(Time(0)) + entry.age_error,
         })
     }
 
@@ -74,23 +76,23 @@
 }
 
 struct HealthChange {
-    at: u64,
+    at: Time,
     front: usize,
     health: LocalHealth,
 }
 
 /// An entry that a front knows from a time on, with the error of its age.
 struct KnownEntry {
-    at: u64,
+    at: Time,
     front: usize,
-    age_error: u64,
+    age_error: Duration,
 }
 
-fn health_change(at: u64, front: usize, health: LocalHealth) -> HealthChange {
+fn health_change(at: Time, front: usize, health: LocalHealth) -> HealthChange {
     HealthChange { at, front, health }
 }
 
-fn known_entry(at: u64, front: usize, age_error: u64) -> KnownEntry {
+fn known_entry(at: Time, front: usize, age_error: Duration) -> KnownEntry {
     KnownEntry {
         at,
         front,
@@ -98,9 +100,9 @@
     }
 }
 
-fn transition(at: u64, by: usize, of: usize, state: MemberState) -> MemberTransition {
+fn transition(at: u32, by: usize, of: usize, state: MemberState) -> MemberTransition {
     MemberTransition {
-        at: at * MS,
+        at: Time(0) + at * MS,
         by,
         of,
         state,
@@ -121,7 +123,7 @@
 #[test]
 fn a_view_claim_holds_in_time_and_fails_through_a_single_front() {
     let step = r#"see { claim: "c" at: "!3" of: "3" state: GONE bound { within: "1s" } }"#;
-    let gone = |times: [u64; 3]| ScriptedCluster {
+    let gone = |times: [u32; 3]| ScriptedCluster {
         transitions: (0..3)
             .map(|by| transition(times[by], by, 3, MemberState::Dead))
             .collect(),
@@ -150,7 +152,7 @@
     let step = |more: &str| format!(r#"accused {{ claim: "c" by: "0-1" but: "3" {more} }}"#);
     let of = |transitions: Vec<MemberTransition>| ScriptedCluster {
         transitions,
-        now: 10,
+        now: Time(10),
         ..ScriptedCluster::default()
     };
     assert!(
@@ -202,15 +204,15 @@
     assert!(holds(
         health,
         of(vec![
-            health_change(0, 0, LocalHealth::Isolated),
-            health_change(1900 * MS, 1, LocalHealth::Isolated)
+            health_change(Time(0), 0, LocalHealth::Isolated),
+            health_change(Time(0) + 1900 * MS, 1, LocalHealth::Isolated)
         ])
     ));
     assert!(!holds(
         health,
         of(vec![
-            health_change(0, 0, LocalHealth::Isolated),
-            health_change(0, 1, LocalHealth::Degraded)
+            health_change(Time(0), 0, LocalHealth::Isolated),
+            health_change(Time(0), 1, LocalHealth::Degraded)
         ])
     ));
 
@@ -237,15 +239,21 @@
     assert!(holds(
         known,
         of(vec![
-            known_entry(0, 1, 0),
-            known_entry(1500 * MS, 2, 100 * MS)
+            known_entry(Time(0), 1, Duration::ZERO),
+            known_entry(Time(0) + 1500 * MS, 2, 100 * MS)
         ])
     ));
-    assert!(!holds(known, of(vec![known_entry(0, 1, 0)])), "too few");
+    assert!(
+        !holds(known, of(vec![known_entry(Time(0), 1, Duration::ZERO)])),
+        "too few"
+    );
     assert!(
         !holds(
             known,
-            of(vec![known_entry(0, 1, 0), known_entry(0, 2, 300 * MS)])
+            of(vec![
+                known_entry(Time(0), 1, Duration::ZERO),
+                known_entry(Time(0), 2, 300 * MS)
+            ])
         ),
         "an age is wrong"
     );
--- a/crates/membership/src/gossip_state.rs
+++ b/crates/membership/src/gossip_state.rs
@@ -1,7 +1,9 @@
 //! The gossip state: values that only their owner writes, replicated to all members, each with its age.
 use crate::member_state::IncarnationId;
+use crankpaddle_time::{nanoseconds, Time};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// The longest value, bytes. Why: every entry must fit a datagram together with the sender's header.
 pub const MAX_VALUE_BYTES: usize = 512;
@@ -35,9 +37,9 @@
 pub struct Entry {
     /// The value that its owner wrote.
     pub value: Vec<u8>,
-    /// Nanoseconds since it was written, at least: summed up from each host's monotonic clock on the way. Time in transit is
-    /// not counted, since no two hosts' clocks are compared.
-    pub age: u64,
+    /// Time since it was written, at least: summed up from each host's monotonic clock on the way. Time in transit is not
+    /// counted, since no two hosts' clocks are compared.
+    pub age: Duration,
     /// Which write it is.
     pub version: EntryVersion,
 }
@@ -54,7 +56,7 @@
 pub(crate) struct EntryUpdate {
     pub entry: EntryKey,
     pub version: EntryVersion,
-    pub age: u64,
+    pub age_nanoseconds: u64,
     pub value: Vec<u8>,
 }
 
@@ -68,11 +70,17 @@
 #[derive(Clone, Debug)]
 struct StoredEntry {
     version: EntryVersion,
-    age_on_receipt: u64,
-    received_at: u64,
+    age_on_receipt: Duration,
+    received_at: Time,
     value: Vec<u8>,
 }
 
+impl StoredEntry {
+    fn age(&self, now: Time) -> Duration {
+        self.age_on_receipt + now.duration_since(self.received_at)
+    }
+}
+
 /// All entries known to this member.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct GossipState {
@@ -81,7 +89,7 @@
 
 impl GossipState {
     /// Stores an update if it is later than the stored entry; true if it was stored.
-    pub(crate) fn apply(&mut self, now: u64, update: &EntryUpdate) -> bool {
+    pub(crate) fn apply(&mut self, now: Time, update: &EntryUpdate) -> bool {
         let stored = self.entries.get(&update.entry);
         let is_outdated = stored.is_some_and(|stored| stored.version >= update.version);
         if update.value.len() > MAX_VALUE_BYTES || is_outdated {
@@ -89,7 +97,7 @@
         }
         let entry = StoredEntry {
             version: update.version,
-            age_on_receipt: update.age,
+            age_on_receipt: Duration::from_nanos(update.age_nanoseconds),
             received_at: now,
             value: update.value.clone(),
         };
@@ -98,24 +106,23 @@
     }
 
     /// An entry as it would be sent at `now`.
-    pub(crate) fn update(&self, now: u64, entry: &EntryKey) -> Option<EntryUpdate> {
+    pub(crate) fn update(&self, now: Time, entry: &EntryKey) -> Option<EntryUpdate> {
         let stored = self.entries.get(entry)?;
-        let stored_for = now.saturating_sub(stored.received_at);
         Some(EntryUpdate {
             entry: entry.clone(),
             version: stored.version,
-            age: stored.age_on_receipt.saturating_add(stored_for),
+            age_nanoseconds: nanoseconds(stored.age(now)),
             value: stored.value.clone(),
         })
     }
 
     /// An entry as a reader sees it at `now`.
-    pub(crate) fn read(&self, now: u64, entry: &EntryKey) -> Option<Entry> {
-        let update = self.update(now, entry)?;
+    pub(crate) fn read(&self, now: Time, entry: &EntryKey) -> Option<Entry> {
+        let stored = self.entries.get(entry)?;
         Some(Entry {
-            value: update.value,
-            age: update.age,
-            version: update.version,
+            value: stored.value.clone(),
+            age: stored.age(now),
+            version: stored.version,
         })
     }
 
--- a/crates/membership/src/local_health.rs
+++ b/crates/membership/src/local_health.rs
@@ -1,4 +1,5 @@
 //! A member's own health: whether it is the one that is slow or cut off.
+use crankpaddle_time::Time;
 use std::collections::VecDeque;
 
 /// How well a member is connected to the others, by its own estimate.
@@ -29,13 +30,13 @@
 pub(crate) struct LocalHealthMonitor {
     score: u32,
     recent_probes: VecDeque<bool>, // Whether each was acknowledged.
-    degraded_until: u64,
+    degraded_until: Time,
 }
 
 impl LocalHealthMonitor {
     /// What timeouts are multiplied by.
-    pub(crate) fn multiplier(&self) -> u64 {
-        u64::from(1 + self.score)
+    pub(crate) fn multiplier(&self) -> u32 {
+        1 + self.score
     }
 
     /// Records the outcome of a probe.
@@ -55,14 +56,14 @@
     }
 
     /// Records that this process was stalled. Until `until`, missing answers are no evidence against other members.
-    pub(crate) fn record_stall(&mut self, until: u64) {
+    pub(crate) fn record_stall(&mut self, until: Time) {
         self.degraded_until = until;
         self.recent_probes.clear();
         self.score = self.score.max(STALLED_SCORE);
     }
 
     /// The health at `now`, given how many other members are active.
-    pub(crate) fn assess(&self, now: u64, active_members: usize) -> LocalHealth {
+    pub(crate) fn assess(&self, now: Time, active_members: usize) -> LocalHealth {
         if active_members == 0 {
             return LocalHealth::Alone;
         }
@@ -77,7 +78,7 @@
     }
 
     /// Whether none of the recent probes was answered, whatever the number of members.
-    pub(crate) fn is_isolated(&self, now: u64) -> bool {
+    pub(crate) fn is_isolated(&self, now: Time) -> bool {
         self.assess(now, 1) == LocalHealth::Isolated
     }
 
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -26,6 +26,7 @@
 use crate::gossip_state::GossipState;
 use crate::local_health::{LocalHealth, LocalHealthMonitor};
 use crate::member_state::{MemberState, MemberVersion};
+use crankpaddle_time::{nanoseconds, Time};
 use gossip_queue::GossipQueue;
 use indirect_probe::IndirectProbe;
 use member_table::MemberTable;
@@ -33,19 +34,16 @@
 use probe::Probe;
 use send_budget::SendBudget;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
-/// Nanoseconds of a millisecond.
-const MILLISECOND: u64 = 1_000_000;
-/// Nanoseconds of a second.
-const SECOND: u64 = 1000 * MILLISECOND;
 /// The first digest is sent within this time of the start.
-const FIRST_SYNC_WITHIN: u64 = 2 * SECOND;
+const FIRST_SYNC_WITHIN: Duration = Duration::from_secs(2);
 /// Rounds of gossip that announce a leave.
 const LEAVE_ROUNDS: usize = 3;
 /// For so many probe intervals after a stall this member's health is degraded.
-const DEGRADED_INTERVALS_AFTER_STALL: u64 = 3;
+const DEGRADED_INTERVALS_AFTER_STALL: u32 = 3;
 /// For so many probe intervals after a stall nobody is declared dead.
-const GRACE_INTERVALS_AFTER_STALL: u64 = 2;
+const GRACE_INTERVALS_AFTER_STALL: u32 = 2;
 
 /// Whether a member still sends and receives.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -57,12 +55,12 @@
     Left,
 }
 
-/// The state machine of one member. A clone continues independently from the same state. Times are nanoseconds of a monotonic
-/// clock.
+/// The state machine of one member. A clone continues independently from the same state. All points in time that it is given
+/// are of one monotonic clock.
 #[derive(Clone)]
 pub struct Membership {
     config: MembershipConfig,
-    started_at: u64,
+    started_at: Time,
     participation: Participation,
     own_version: MemberVersion,
     name_conflicts: NameConflicts,
@@ -77,10 +75,10 @@
     local_health: LocalHealth,
     last_sequence: u32,
     digest_cursor: usize,
-    probe_at: u64,
-    gossip_at: u64,
-    sync_at: u64,
-    rejoin_at: u64,
+    probe_at: Time,
+    gossip_at: Time,
+    sync_at: Time,
+    rejoin_at: Time,
     budget: SendBudget,
     counters: Counters,
     rng: oorandom::Rand32,
@@ -89,7 +87,7 @@
 impl Membership {
     /// A member that knows no other one yet. `seed` feeds its random choices.
     #[must_use]
-    pub fn new(config: MembershipConfig, seed: u64, now: u64) -> Membership {
+    pub fn new(config: MembershipConfig, seed: u64, now: Time) -> Membership {
         let mut rng = oorandom::Rand32::new(seed);
         let digest_cursor = rng.rand_u32() as usize;
         // Random, so that fronts that start together do not probe together.
@@ -117,7 +115,7 @@
             last_sequence: 0,
             digest_cursor,
             probe_at,
-            gossip_at: u64::MAX,
+            gossip_at: Time::MAX,
             sync_at,
             rejoin_at: now,
             budget: SendBudget::new(config.datagrams, config.bytes, now),
@@ -127,11 +125,11 @@
         }
     }
 
-    /// When [`Membership::expire`] must be called next; `u64::MAX`: not any more.
+    /// When [`Membership::expire`] must be called next; [`Time::MAX`]: not any more.
     #[must_use]
-    pub fn next_expiry(&self) -> u64 {
+    pub fn next_expiry(&self) -> Time {
         if !self.is_participating() {
-            return u64::MAX;
+            return Time::MAX;
         }
         let probe = self
             .probe
@@ -145,11 +143,11 @@
             .into_iter()
             .chain(self.members.suspicion_deadlines())
             .chain(indirect_probes)
-            .fold(u64::MAX, u64::min)
+            .fold(Time::MAX, Time::min)
     }
 
     /// Runs all timers that are due at `now`.
-    pub fn expire(&mut self, now: u64, out: &mut Vec<Output>) {
+    pub fn expire(&mut self, now: Time, out: &mut Vec<Output>) {
         if !self.is_participating() {
             return;
         }
@@ -170,7 +168,7 @@
     }
 
     /// Announces that this member leaves; it sends nothing after that.
-    pub fn leave(&mut self, now: u64, out: &mut Vec<Output>) {
+    pub fn leave(&mut self, now: Time, out: &mut Vec<Output>) {
         self.own_version.state = MemberState::Left;
         self.enqueue_own_version(now);
         for _ in 0..LEAVE_ROUNDS {
@@ -239,26 +237,26 @@
     ///
     /// Why: a process that was stopped, or got no processor time, finds all its timers due at once. It would declare members
     /// dead that had no chance to be received.
-    fn detect_stall(&mut self, now: u64) {
+    fn detect_stall(&mut self, now: Time) {
         let due = self.next_expiry();
         let interval = self.config.probe_interval;
-        if now <= due.saturating_add(interval / 2) {
+        if now <= due + interval / 2 {
             return;
         }
-        let late_by = now - due;
+        let late_by = now.duration_since(due);
         self.local_health_monitor
-            .record_stall(now.saturating_add(DEGRADED_INTERVALS_AFTER_STALL * interval));
+            .record_stall(now + DEGRADED_INTERVALS_AFTER_STALL * interval);
         self.probe = None;
         self.probe_at = now;
         self.indirect_probes.clear();
-        let postponement = late_by.saturating_add(GRACE_INTERVALS_AFTER_STALL * interval);
+        let postponement = late_by + GRACE_INTERVALS_AFTER_STALL * interval;
         for suspicion in self.members.suspicions_mut() {
             suspicion.postpone(postponement);
         }
     }
 
     /// Reports this member's health if it changed.
-    fn update_local_health(&mut self, now: u64, out: &mut Vec<Output>) {
+    fn update_local_health(&mut self, now: Time, out: &mut Vec<Output>) {
         let health = self.assess_local_health(now);
         if health != self.local_health {
             self.local_health = health;
@@ -266,7 +264,7 @@
         }
     }
 
-    fn assess_local_health(&self, now: u64) -> LocalHealth {
+    fn assess_local_health(&self, now: Time) -> LocalHealth {
         if self.participation == Participation::Replaced {
             return LocalHealth::Replaced;
         }
@@ -301,6 +299,7 @@
 }
 
 /// A random part of a duration.
-fn random_within(rng: &mut oorandom::Rand32, duration: u64) -> u64 {
-    (f64::from(rng.rand_float()) * duration as f64) as u64
+fn random_within(rng: &mut oorandom::Rand32, duration: Duration) -> Duration {
+    let part = f64::from(rng.rand_float()) * nanoseconds(duration) as f64;
+    Duration::from_nanos(part as u64)
 }
--- a/crates/membership/src/membership/anti_entropy.rs
+++ b/crates/membership/src/membership/anti_entropy.rs
@@ -1,14 +1,16 @@
 //! Anti-entropy: members compare digests of what they know, so that updates which gossip missed arrive as well.
 use super::dissemination::{Destination, Message, ANSWER_RESERVE, GOSSIP_RESERVE};
 use super::gossip_queue::GossipItem;
-use super::{Membership, Output, SECOND};
+use super::{Membership, Output};
 use crate::gossip_state::{EntryDigest, EntryKey};
 use crate::wire::{Body, MemberDigest};
+use crankpaddle_time::Time;
+use std::time::Duration;
 
 /// Time between two digests.
-const SYNC_INTERVAL: u64 = SECOND;
-/// Time to the next digest after one showed a difference.
-const SYNC_INTERVAL_ON_DIFFERENCE: u64 = SYNC_INTERVAL / 5;
+const SYNC_INTERVAL: Duration = Duration::from_secs(1);
+/// Time to the next digest after one showed a difference: a fifth of the interval.
+const SYNC_INTERVAL_ON_DIFFERENCE: Duration = Duration::from_millis(200);
 /// Members in a digest.
 const DIGEST_MEMBERS: usize = 18;
 /// Entries in a digest.
@@ -32,8 +34,8 @@
 
 impl Membership {
     /// Sends one member a digest of a part of what is known; it answers with what it knows better and what it lacks.
-    pub(super) fn sync(&mut self, now: u64, out: &mut Vec<Output>) {
-        self.sync_at = now.saturating_add(SYNC_INTERVAL);
+    pub(super) fn sync(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.sync_at = now + SYNC_INTERVAL;
         let Some(name) = self.choose_members(1, "").pop() else {
             return;
         };
@@ -71,7 +73,7 @@
     /// Answers a digest with the updates that its sender lacks, and requests those that are missing here.
     pub(super) fn answer_digest(
         &mut self,
-        now: u64,
+        now: Time,
         from: Destination<'_>,
         members: Vec<MemberDigest>,
         entries: Vec<EntryDigest>,
@@ -84,9 +86,7 @@
             return;
         }
         // Where two members differ, others do as well.
-        self.sync_at = self
-            .sync_at
-            .min(now.saturating_add(SYNC_INTERVAL_ON_DIFFERENCE));
+        self.sync_at = self.sync_at.min(now + SYNC_INTERVAL_ON_DIFFERENCE);
         let body = Body::Pull {
             members: difference.wanted_members,
             entries: difference.wanted_entries,
@@ -129,7 +129,7 @@
     /// Answers a request for updates.
     pub(super) fn answer_pull(
         &mut self,
-        now: u64,
+        now: Time,
         from: Destination<'_>,
         members: Vec<String>,
         entries: Vec<EntryKey>,
--- a/crates/membership/src/membership/config.rs
+++ b/crates/membership/src/membership/config.rs
@@ -1,7 +1,7 @@
 //! The configuration of a member.
-use super::{MILLISECOND, SECOND};
+use std::time::Duration;
 
-/// The configuration of a member. Durations are nanoseconds.
+/// The configuration of a member.
 #[derive(Clone, Debug)]
 pub struct MembershipConfig {
     /// Its name, the same after a restart.
@@ -17,9 +17,9 @@
     /// Addresses of members to join through.
     pub seeds: Vec<String>,
     /// Time between two probes.
-    pub probe_interval: u64,
+    pub probe_interval: Duration,
     /// Time to wait for an answer to a direct probe.
-    pub probe_timeout: u64,
+    pub probe_timeout: Duration,
     /// Members asked to probe on this member's behalf.
     pub indirect_probes: usize,
     /// The most datagrams sent in a second.
@@ -37,8 +37,8 @@
             incarnation: 0,
             key: [0; 16],
             seeds: Vec::new(),
-            probe_interval: SECOND,
-            probe_timeout: 400 * MILLISECOND,
+            probe_interval: Duration::from_secs(1),
+            probe_timeout: Duration::from_millis(400),
             indirect_probes: 3,
             datagrams: 60.0,
             bytes: 30_000.0,
--- a/crates/membership/src/membership/dissemination.rs
+++ b/crates/membership/src/membership/dissemination.rs
@@ -1,12 +1,14 @@
 //! Outgoing datagrams: each carries as many updates as fit, those sent least often first, within the budget.
 use super::gossip_queue::{GossipItem, QueuedItem};
-use super::{Membership, Output, MILLISECOND};
+use super::{Membership, Output};
 use crate::wire::{Body, DatagramBuilder, Header, MemberUpdate};
+use crankpaddle_time::Time;
+use std::time::Duration;
 
 /// Time between two rounds of gossip while there are updates to disseminate.
-const GOSSIP_INTERVAL: u64 = 200 * MILLISECOND;
-/// Time from a new update to the next round at the latest.
-const GOSSIP_DELAY: u64 = GOSSIP_INTERVAL / 4;
+const GOSSIP_INTERVAL: Duration = Duration::from_millis(200);
+/// Time from a new update to the next round at the latest: a quarter of the interval.
+const GOSSIP_DELAY: Duration = Duration::from_millis(50);
 /// Members that each round is sent to.
 const GOSSIP_FANOUT: usize = 3;
 /// Each update is sent this many times the logarithm of the fleet's size (SWIM's lambda).
@@ -69,13 +71,13 @@
 
 impl Membership {
     /// Queues an item for dissemination.
-    pub(super) fn enqueue(&mut self, item: GossipItem, now: u64) {
+    pub(super) fn enqueue(&mut self, item: GossipItem, now: Time) {
         self.gossip_queue.push(item);
-        self.gossip_at = self.gossip_at.min(now.saturating_add(GOSSIP_DELAY));
+        self.gossip_at = self.gossip_at.min(now + GOSSIP_DELAY);
     }
 
     /// Queues the own version for dissemination.
-    pub(super) fn enqueue_own_version(&mut self, now: u64) {
+    pub(super) fn enqueue_own_version(&mut self, now: Time) {
         self.enqueue(GossipItem::Member(self.config.name.clone()), now);
     }
 
@@ -101,7 +103,7 @@
     /// Sends a datagram, filled up with queued updates. False if the budget does not allow it.
     pub(super) fn send(
         &mut self,
-        now: u64,
+        now: Time,
         to: Destination<'_>,
         message: Message<'_>,
         out: &mut Vec<Output>,
@@ -129,7 +131,7 @@
     /// Sends a datagram to a known member at the address that it announced.
     pub(super) fn send_to_member(
         &mut self,
-        now: u64,
+        now: Time,
         name: &str,
         message: Message<'_>,
         out: &mut Vec<Output>,
@@ -146,19 +148,19 @@
     }
 
     /// Sends one round of gossip if there are updates to disseminate.
-    pub(super) fn gossip(&mut self, now: u64, out: &mut Vec<Output>) {
+    pub(super) fn gossip(&mut self, now: Time, out: &mut Vec<Output>) {
         if self.gossip_queue.is_empty() {
-            self.gossip_at = u64::MAX;
+            self.gossip_at = Time::MAX;
             return;
         }
-        self.gossip_at = now.saturating_add(GOSSIP_INTERVAL);
+        self.gossip_at = now + GOSSIP_INTERVAL;
         for name in self.choose_members(GOSSIP_FANOUT, "") {
             let message = Message::new(&Body::Gossip).with_reserve(GOSSIP_RESERVE);
             self.send_to_member(now, &name, message, out);
         }
     }
 
-    fn encode(&self, now: u64, to: &str, message: Message<'_>) -> EncodedDatagram {
+    fn encode(&self, now: Time, to: &str, message: Message<'_>) -> EncodedDatagram {
         let mut builder = DatagramBuilder::new(&self.header(to), message.body);
         for item in message.first_items {
             self.add_item(now, item, &mut builder);
@@ -181,7 +183,7 @@
     }
 
     /// Adds an item's update; false if it does not fit, or nothing is known of the item any more.
-    fn add_item(&self, now: u64, item: &GossipItem, builder: &mut DatagramBuilder) -> bool {
+    fn add_item(&self, now: Time, item: &GossipItem, builder: &mut DatagramBuilder) -> bool {
         match item {
             GossipItem::Member(name) => self
                 .member_update(name)
--- a/crates/membership/src/membership/entries.rs
+++ b/crates/membership/src/membership/entries.rs
@@ -6,6 +6,7 @@
 use crate::gossip_state::{Entry, EntryKey, EntryUpdate, EntryVersion, MAX_VALUE_BYTES};
 use crate::member_state::MemberState;
 use crate::wire::MAX_DATAGRAM_BYTES;
+use crankpaddle_time::Time;
 
 /// Bytes of a datagram that an entry leaves for the sender's header.
 const HEADER_ALLOWANCE: usize = 200;
@@ -15,7 +16,7 @@
     ///
     /// # Errors
     /// The value is longer than [`MAX_VALUE_BYTES`].
-    pub fn write(&mut self, now: u64, key: u8, value: Vec<u8>) -> Result<(), WriteError> {
+    pub fn write(&mut self, now: Time, key: u8, value: Vec<u8>) -> Result<(), WriteError> {
         if value.len() > MAX_VALUE_BYTES || value.len() + HEADER_ALLOWANCE > MAX_DATAGRAM_BYTES {
             return Err(WriteError::ValueTooLong {
                 limit: MAX_VALUE_BYTES,
@@ -29,7 +30,7 @@
 
     /// A member's entry as it is known at `now`, unless the member has left.
     #[must_use]
-    pub fn entry(&self, now: u64, owner: &str, key: u8) -> Option<Entry> {
+    pub fn entry(&self, now: Time, owner: &str, key: u8) -> Option<Entry> {
         let entry = EntryKey {
             owner: owner.to_owned(),
             key,
@@ -44,7 +45,7 @@
         }
     }
 
-    fn write_with_count(&mut self, now: u64, key: u8, value: Vec<u8>, write_count: u32) {
+    fn write_with_count(&mut self, now: Time, key: u8, value: Vec<u8>, write_count: u32) {
         let entry = self.own_entry(key);
         let update = EntryUpdate {
             entry: entry.clone(),
@@ -53,7 +54,7 @@
                 incarnation: self.own_version.incarnation,
                 write_count,
             },
-            age: 0,
+            age_nanoseconds: 0,
             value,
         };
         self.own_entry_keys.insert(key);
@@ -63,7 +64,7 @@
     }
 
     /// Writes the own entries again, under the present epoch.
-    pub(super) fn rewrite_own_entries(&mut self, now: u64) {
+    pub(super) fn rewrite_own_entries(&mut self, now: Time) {
         for key in self.own_entry_keys.clone() {
             if let Some(entry) = self.gossip_state.read(now, &self.own_entry(key)) {
                 self.write_with_count(now, key, entry.value, 1);
@@ -72,7 +73,7 @@
     }
 
     /// Applies an update of an entry. Only those that the owner's present incarnation wrote count.
-    pub(super) fn apply_entry_update(&mut self, now: u64, update: &EntryUpdate) {
+    pub(super) fn apply_entry_update(&mut self, now: Time, update: &EntryUpdate) {
         if update.entry.owner == self.config.name {
             self.check_own_entry(now, update);
             return;
@@ -89,7 +90,7 @@
 
     /// Checks an update of an entry of this member: one that it never wrote is overwritten, under a new epoch where its count
     /// is implausible.
-    fn check_own_entry(&mut self, now: u64, update: &EntryUpdate) {
+    fn check_own_entry(&mut self, now: Time, update: &EntryUpdate) {
         let own_incarnation = self.own_version.incarnation_id();
         let stored = self.gossip_state.version(&update.entry);
         let is_known = stored.is_some_and(|stored| stored >= update.version);
--- a/crates/membership/src/membership/indirect_probe.rs
+++ b/crates/membership/src/membership/indirect_probe.rs
@@ -3,6 +3,7 @@
 use super::gossip_queue::GossipItem;
 use super::{Membership, Output};
 use crate::wire::Body;
+use crankpaddle_time::Time;
 
 /// Indirect probes in progress at most; further requests are dropped.
 const MAX_INDIRECT_PROBES: usize = 64;
@@ -12,12 +13,12 @@
 pub(super) struct IndirectProbe {
     requester: String,
     requester_sequence: u32,
-    until: u64,
+    until: Time,
 }
 
 impl IndirectProbe {
     /// When the requester is sent a nack unless the target answered.
-    pub(super) fn next_expiry(&self) -> u64 {
+    pub(super) fn next_expiry(&self) -> Time {
         self.until
     }
 }
@@ -26,7 +27,7 @@
     /// Probes `target` on behalf of `requester`.
     pub(super) fn begin_indirect_probe(
         &mut self,
-        now: u64,
+        now: Time,
         requester: &str,
         requester_sequence: u32,
         target: &str,
@@ -44,13 +45,13 @@
         let probe = IndirectProbe {
             requester: requester.to_owned(),
             requester_sequence,
-            until: now.saturating_add(self.config.probe_timeout),
+            until: now + self.config.probe_timeout,
         };
         self.indirect_probes.insert(sequence, probe);
     }
 
     /// Forwards the acknowledgement of an indirect probe to its requester.
-    pub(super) fn forward_ack(&mut self, now: u64, sequence: u32, out: &mut Vec<Output>) {
+    pub(super) fn forward_ack(&mut self, now: Time, sequence: u32, out: &mut Vec<Output>) {
         let Some(probe) = self.indirect_probes.remove(&sequence) else {
             return;
         };
@@ -61,7 +62,7 @@
     }
 
     /// Ends indirect probes without an answer: the nack shows their requesters that at least this member is alive.
-    pub(super) fn expire_indirect_probes(&mut self, now: u64, out: &mut Vec<Output>) {
+    pub(super) fn expire_indirect_probes(&mut self, now: Time, out: &mut Vec<Output>) {
         let expired: Vec<u32> = self
             .indirect_probes
             .iter()
--- a/crates/membership/src/membership/member_table.rs
+++ b/crates/membership/src/membership/member_table.rs
@@ -4,7 +4,9 @@
 use crate::suspicion::Suspicion;
 use crate::token_bucket::TokenBucket;
 use crate::wire::MemberUpdate;
+use crankpaddle_time::Time;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 /// Requests of one member that are answered in a second.
 const ANSWERS_PER_SECOND: f64 = 25.0;
@@ -14,9 +16,9 @@
 pub(super) struct MemberRecord {
     pub(super) version: MemberVersion,
     pub(super) address: String,
-    pub(super) since: u64, // When it entered its state.
+    pub(super) since: Time, // When it entered its state.
     pub(super) reported_by: String,
-    pub(super) rtt: Option<u64>,
+    pub(super) rtt: Option<Duration>,
     pub(super) suspicion: Option<Suspicion>,
     pub(super) answer_limit: TokenBucket,
 }
@@ -77,14 +79,14 @@
     }
 
     /// The deadlines of all suspicions.
-    pub(super) fn suspicion_deadlines(&self) -> impl Iterator<Item = u64> + '_ {
+    pub(super) fn suspicion_deadlines(&self) -> impl Iterator<Item = Time> + '_ {
         self.suspects
             .iter()
             .filter_map(|name| self.suspicion_deadline(name))
     }
 
     /// The suspects whose deadline has passed.
-    pub(super) fn overdue_suspects(&self, now: u64) -> Vec<String> {
+    pub(super) fn overdue_suspects(&self, now: Time) -> Vec<String> {
         let is_overdue = |name: &&String| {
             self.suspicion_deadline(name)
                 .is_some_and(|deadline| now >= deadline)
@@ -92,7 +94,7 @@
         self.suspects.iter().filter(is_overdue).cloned().collect()
     }
 
-    fn suspicion_deadline(&self, name: &str) -> Option<u64> {
+    fn suspicion_deadline(&self, name: &str) -> Option<Time> {
         let suspicion = self.records.get(name)?.suspicion.as_ref()?;
         Some(suspicion.deadline())
     }
@@ -100,7 +102,7 @@
     /// Stores a later version of a member. `changed`: its state or incarnation is another one than before.
     pub(super) fn store(
         &mut self,
-        now: u64,
+        now: Time,
         update: &MemberUpdate,
         suspicion: Option<Suspicion>,
         changed: bool,
@@ -144,7 +146,7 @@
 }
 
 impl MemberRecord {
-    fn new(now: u64, update: &MemberUpdate) -> MemberRecord {
+    fn new(now: Time, update: &MemberUpdate) -> MemberRecord {
         MemberRecord {
             version: update.version,
             address: update.address.clone(),
--- a/crates/membership/src/membership/member_updates.rs
+++ b/crates/membership/src/membership/member_updates.rs
@@ -1,18 +1,20 @@
 //! Updates of other members: suspicion, confirmation, death, and every other change of state.
 use super::gossip_queue::GossipItem;
-use super::{MemberChange, Membership, Output, SECOND};
+use super::{MemberChange, Membership, Output};
 use crate::member_state::{MemberState, MemberVersion};
 use crate::suspicion::Suspicion;
 use crate::wire::MemberUpdate;
+use crankpaddle_time::Time;
+use std::time::Duration;
 
 /// How long suspicions are postponed while this member is isolated.
-const ISOLATED_POSTPONEMENT: u64 = SECOND;
+const ISOLATED_POSTPONEMENT: Duration = Duration::from_secs(1);
 
 impl Membership {
     /// Applies an update of another member if it is later than what is known.
     pub(super) fn apply_member_update(
         &mut self,
-        now: u64,
+        now: Time,
         update: &MemberUpdate,
         out: &mut Vec<Output>,
     ) {
@@ -31,7 +33,7 @@
     }
 
     /// Another member suspects the same one: its timeout shortens, and the confirmation is disseminated.
-    fn confirm_suspicion(&mut self, now: u64, update: &MemberUpdate) {
+    fn confirm_suspicion(&mut self, now: Time, update: &MemberUpdate) {
         let Some(record) = self.members.get_mut(&update.name) else {
             return;
         };
@@ -46,7 +48,7 @@
 
     fn store_member_update(
         &mut self,
-        now: u64,
+        now: Time,
         update: &MemberUpdate,
         known: Option<MemberVersion>,
         out: &mut Vec<Output>,
@@ -70,7 +72,7 @@
         self.enqueue(GossipItem::Member(update.name.clone()), now);
     }
 
-    fn new_suspicion(&self, now: u64, update: &MemberUpdate) -> Suspicion {
+    fn new_suspicion(&self, now: Time, update: &MemberUpdate) -> Suspicion {
         Suspicion::new(
             now,
             &update.reported_by,
@@ -82,7 +84,7 @@
     /// Declares a known member to be in this state, on this member's own account.
     pub(super) fn declare(
         &mut self,
-        now: u64,
+        now: Time,
         name: &str,
         state: MemberState,
         out: &mut Vec<Output>,
@@ -103,7 +105,7 @@
     }
 
     /// Declares suspects dead that did not refute in time.
-    pub(super) fn expire_suspicions(&mut self, now: u64, out: &mut Vec<Output>) {
+    pub(super) fn expire_suspicions(&mut self, now: Time, out: &mut Vec<Output>) {
         let is_isolated = self.local_health_monitor.is_isolated(now);
         for name in self.members.overdue_suspects(now) {
             if is_isolated {
--- a/crates/membership/src/membership/output.rs
+++ b/crates/membership/src/membership/output.rs
@@ -1,6 +1,8 @@
 //! What the state machine gives out: actions to carry out, and the members as an operator sees them.
 use crate::local_health::LocalHealth;
 use crate::member_state::MemberState;
+use crankpaddle_time::Time;
+use std::time::Duration;
 
 /// An action to carry out, or a change to report; to be handled in order.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -42,10 +44,10 @@
     pub address: String,
     /// Its state.
     pub state: MemberState,
-    /// When it entered this state, nanoseconds of this member's clock.
-    pub since: u64,
+    /// When it entered this state, by this member's clock.
+    pub since: Time,
     /// Who reported the state.
     pub by: String,
-    /// The round-trip time of its last acknowledged probe, nanoseconds.
-    pub rtt: Option<u64>,
+    /// The round-trip time of its last acknowledged probe.
+    pub rtt: Option<Duration>,
 }
--- a/crates/membership/src/membership/own_identity.rs
+++ b/crates/membership/src/membership/own_identity.rs
@@ -1,14 +1,16 @@
 //! This member's own version: refutation of suspicions, and conflicts over its name.
-use super::{Membership, Output, Participation, SECOND};
+use super::{Membership, Output, Participation};
 use crate::local_health::LocalHealth;
 use crate::member_state::{MemberState, MemberVersion};
+use crankpaddle_time::Time;
+use std::time::Duration;
 
 /// Right after the start, another process under this member's name is taken for its previous incarnation.
-const STARTUP_PERIOD: u64 = 10 * SECOND;
+const STARTUP_PERIOD: Duration = Duration::from_secs(10);
 /// Conflicts over the name after which the other process keeps it ...
 const MAX_CONFLICTS: u32 = 2;
 /// ... if they happen within this time.
-const CONFLICT_WINDOW: u64 = 60 * SECOND;
+const CONFLICT_WINDOW: Duration = Duration::from_secs(60);
 /// A count of refutations or writes that no honest process comes near.
 pub(super) const IMPLAUSIBLE_COUNT: u32 = u32::MAX / 2;
 
@@ -16,19 +18,19 @@
 #[derive(Clone)]
 pub(super) struct NameConflicts {
     count: u32,
-    window_start: u64,
+    window_start: Time,
 }
 
 impl NameConflicts {
-    pub(super) fn new(now: u64) -> NameConflicts {
+    pub(super) fn new(now: Time) -> NameConflicts {
         NameConflicts {
             count: 0,
             window_start: now,
         }
     }
 
-    fn record(&mut self, now: u64) {
-        if now.saturating_sub(self.window_start) > CONFLICT_WINDOW {
+    fn record(&mut self, now: Time) {
+        if now.duration_since(self.window_start) > CONFLICT_WINDOW {
             *self = NameConflicts::new(now);
         }
         self.count += 1;
@@ -39,7 +41,7 @@
     /// Handles what others report of this member: a suspicion is refuted, another incarnation is a conflict over the name.
     pub(super) fn handle_update_of_self(
         &mut self,
-        now: u64,
+        now: Time,
         reported: MemberVersion,
         out: &mut Vec<Output>,
     ) {
@@ -65,7 +67,7 @@
         }
     }
 
-    fn refute(&mut self, now: u64, reported_refutations: u32) {
+    fn refute(&mut self, now: Time, reported_refutations: u32) {
         self.own_version.refutations = reported_refutations + 1;
         self.local_health_monitor.worsen();
         self.enqueue_own_version(now);
@@ -79,7 +81,7 @@
     /// the front's own limits do not depend on it.
     pub(super) fn handle_name_conflict(
         &mut self,
-        now: u64,
+        now: Time,
         other: MemberVersion,
         out: &mut Vec<Output>,
     ) {
@@ -89,7 +91,7 @@
             return;
         }
         self.name_conflicts.record(now);
-        let is_established = now.saturating_sub(self.started_at) >= STARTUP_PERIOD;
+        let is_established = now.duration_since(self.started_at) >= STARTUP_PERIOD;
         if is_established && self.name_conflicts.count >= MAX_CONFLICTS {
             self.give_up_name(out);
             return;
@@ -104,7 +106,7 @@
     }
 
     /// Raises the own epoch; the own entries are written again under it.
-    pub(super) fn advance_epoch(&mut self, now: u64, epoch: u64) {
+    pub(super) fn advance_epoch(&mut self, now: Time, epoch: u64) {
         self.own_version.epoch = epoch;
         self.own_version.refutations = 0;
         self.enqueue_own_version(now);
--- a/crates/membership/src/membership/probe.rs
+++ b/crates/membership/src/membership/probe.rs
@@ -5,12 +5,13 @@
 use crate::local_health::LocalHealth;
 use crate::member_state::MemberState;
 use crate::wire::Body;
+use crankpaddle_time::Time;
 
 /// How far a probe has come.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum ProbePhase {
     /// A direct answer is awaited until this time.
-    AwaitingDirectAck { until: u64 },
+    AwaitingDirectAck { until: Time },
     /// Helpers were asked to probe the target.
     AwaitingIndirectAck,
     /// The target answered.
@@ -22,16 +23,16 @@
 pub(super) struct Probe {
     target: String,
     sequence: u32,
-    sent_at: u64,
+    sent_at: Time,
     phase: ProbePhase,
-    ends_at: u64,
+    ends_at: Time,
     helpers: usize,
     nacks: usize,
 }
 
 impl Probe {
     /// When the probe must be looked at next.
-    pub(super) fn next_expiry(&self) -> u64 {
+    pub(super) fn next_expiry(&self) -> Time {
         match self.phase {
             ProbePhase::AwaitingDirectAck { until } => until,
             ProbePhase::AwaitingIndirectAck | ProbePhase::Acknowledged => self.ends_at,
@@ -42,14 +43,14 @@
         self.phase == ProbePhase::Acknowledged
     }
 
-    fn has_missed_direct_ack(&self, now: u64) -> bool {
+    fn has_missed_direct_ack(&self, now: Time) -> bool {
         matches!(self.phase, ProbePhase::AwaitingDirectAck { until } if now >= until)
     }
 }
 
 impl Membership {
     /// Carries the probe in progress on, and begins the next one when it is time.
-    pub(super) fn run_probe(&mut self, now: u64, out: &mut Vec<Output>) {
+    pub(super) fn run_probe(&mut self, now: Time, out: &mut Vec<Output>) {
         self.request_indirect_probes(now, out);
         if let Some(probe) = self.probe.take_if(|probe| now >= probe.ends_at) {
             self.finish_probe(now, &probe, out);
@@ -60,8 +61,8 @@
         }
     }
 
-    fn begin_probe(&mut self, now: u64, out: &mut Vec<Output>) {
-        self.probe_at = now.saturating_add(self.config.probe_interval);
+    fn begin_probe(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.probe_at = now + self.config.probe_interval;
         let Some(target) = self.next_probe_target() else {
             return;
         };
@@ -78,13 +79,13 @@
         let multiplier = self.local_health_monitor.multiplier();
         let timeout = self.config.probe_timeout.saturating_mul(multiplier);
         let duration = self.config.probe_interval.saturating_mul(multiplier);
-        let ends_at = now.saturating_add(duration);
+        let ends_at = now + duration;
         self.probe = Some(Probe {
             target,
             sequence,
             sent_at: now,
             phase: ProbePhase::AwaitingDirectAck {
-                until: now.saturating_add(timeout).min(ends_at),
+                until: (now + timeout).min(ends_at),
             },
             ends_at,
             helpers: 0,
@@ -110,7 +111,7 @@
     }
 
     /// Asks helpers to probe the target once the direct answer is overdue.
-    fn request_indirect_probes(&mut self, now: u64, out: &mut Vec<Output>) {
+    fn request_indirect_probes(&mut self, now: Time, out: &mut Vec<Output>) {
         let Some(probe) = self
             .probe
             .as_mut()
@@ -140,7 +141,7 @@
     }
 
     /// Evaluates a probe that ended; without an acknowledgement the target becomes suspect.
-    fn finish_probe(&mut self, now: u64, probe: &Probe, out: &mut Vec<Output>) {
+    fn finish_probe(&mut self, now: Time, probe: &Probe, out: &mut Vec<Output>) {
         self.local_health_monitor
             .record_probe(probe.is_acknowledged());
         if probe.is_acknowledged() {
@@ -164,7 +165,7 @@
     /// Handles an acknowledgement of an own probe, or of one made on behalf of another member.
     pub(super) fn handle_ack(
         &mut self,
-        now: u64,
+        now: Time,
         from: &str,
         sequence: u32,
         out: &mut Vec<Output>,
@@ -179,10 +180,10 @@
         };
         probe.phase = ProbePhase::Acknowledged;
         // An answer that came within a stretched timeout does not delay the next probe further.
-        let regular_end = probe.sent_at.saturating_add(self.config.probe_interval);
+        let regular_end = probe.sent_at + self.config.probe_interval;
         probe.ends_at = probe.ends_at.min(regular_end.max(now));
         if probe.target == from {
-            let rtt = now.saturating_sub(probe.sent_at);
+            let rtt = now.duration_since(probe.sent_at);
             if let Some(record) = self.members.get_mut(from) {
                 record.rtt = Some(rtt);
             }
--- a/crates/membership/src/membership/receive.rs
+++ b/crates/membership/src/membership/receive.rs
@@ -4,10 +4,11 @@
 use super::{Membership, Output};
 use crate::member_state::{MemberState, MemberVersion};
 use crate::wire::{self, Body, Datagram, MemberUpdate};
+use crankpaddle_time::Time;
 
 impl Membership {
     /// Handles a datagram that was received from the address `from` at `now`.
-    pub fn receive(&mut self, now: u64, from: &str, bytes: &[u8], out: &mut Vec<Output>) {
+    pub fn receive(&mut self, now: Time, from: &str, bytes: &[u8], out: &mut Vec<Output>) {
         if !self.is_participating() {
             return;
         }
@@ -38,7 +39,7 @@
     }
 
     /// A datagram whose sender has this member's name: its own, returned, or another process's.
-    fn handle_own_name(&mut self, now: u64, version: MemberVersion, out: &mut Vec<Output>) {
+    fn handle_own_name(&mut self, now: Time, version: MemberVersion, out: &mut Vec<Output>) {
         if version.incarnation != self.own_version.incarnation {
             self.handle_name_conflict(now, version, out);
         }
@@ -57,7 +58,7 @@
     /// and then it raises its epoch.
     fn reject_previous_incarnation(
         &mut self,
-        now: u64,
+        now: Time,
         sender: Destination<'_>,
         out: &mut Vec<Output>,
     ) {
@@ -72,7 +73,13 @@
         self.send(now, sender, message, out);
     }
 
-    fn handle_datagram(&mut self, now: u64, from: &str, datagram: Datagram, out: &mut Vec<Output>) {
+    fn handle_datagram(
+        &mut self,
+        now: Time,
+        from: &str,
+        datagram: Datagram,
+        out: &mut Vec<Output>,
+    ) {
         let header = datagram.header;
         let sender_update = MemberUpdate {
             reported_by: header.from.clone(),
@@ -100,7 +107,7 @@
 
     fn handle_body(
         &mut self,
-        now: u64,
+        now: Time,
         sender: Destination<'_>,
         body: Body,
         out: &mut Vec<Output>,
@@ -116,7 +123,7 @@
         }
     }
 
-    fn answer(&mut self, now: u64, sender: Destination<'_>, request: Body, out: &mut Vec<Output>) {
+    fn answer(&mut self, now: Time, sender: Destination<'_>, request: Body, out: &mut Vec<Output>) {
         match request {
             Body::Ping { sequence } => self.answer_ping(now, sender, sequence, out),
             Body::PingRequest { sequence, target } if target == self.config.name => {
@@ -138,7 +145,7 @@
 
     fn answer_ping(
         &mut self,
-        now: u64,
+        now: Time,
         sender: Destination<'_>,
         sequence: u32,
         out: &mut Vec<Output>,
@@ -154,7 +161,7 @@
 
     /// Whether a request of a member is answered. Why a limit: a member that floods would have this one answer as fast as it
     /// asks. The updates that come with its requests are applied all the same.
-    fn may_answer(&mut self, now: u64, name: &str) -> bool {
+    fn may_answer(&mut self, now: Time, name: &str) -> bool {
         let Some(record) = self.members.get_mut(name) else {
             return true;
         };
--- a/crates/membership/src/membership/rejoin.rs
+++ b/crates/membership/src/membership/rejoin.rs
@@ -1,22 +1,24 @@
 //! Rejoining: dead members and seeds are probed from time to time, and members that are over for long are removed.
 use super::dissemination::{Destination, Message, GOSSIP_RESERVE};
 use super::gossip_queue::GossipItem;
-use super::{Membership, Output, SECOND};
+use super::{Membership, Output};
 use crate::member_state::MemberState;
 use crate::wire::Body;
+use crankpaddle_time::Time;
+use std::time::Duration;
 
 /// Time between two attempts to reach a dead member or a seed.
-const REJOIN_INTERVAL: u64 = 2 * SECOND;
+const REJOIN_INTERVAL: Duration = Duration::from_secs(2);
 /// Members that are dead or left for longer than this are removed.
-const REMOVE_AFTER: u64 = 600 * SECOND;
+const REMOVE_AFTER: Duration = Duration::from_secs(600);
 
 impl Membership {
     /// Probes one dead member and one seed that is not an active member.
     ///
     /// Why: after a partition each side takes the other for dead, and nobody would ever probe it again. The ping carries the
     /// state that the other is taken for, and it refutes.
-    pub(super) fn rejoin(&mut self, now: u64, out: &mut Vec<Output>) {
-        self.rejoin_at = now.saturating_add(REJOIN_INTERVAL);
+    pub(super) fn rejoin(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.rejoin_at = now + REJOIN_INTERVAL;
         self.remove_expired(now);
         let dead = self.dead_members();
         let ping = Body::Ping {
@@ -40,12 +42,12 @@
         }
     }
 
-    fn remove_expired(&mut self, now: u64) {
+    fn remove_expired(&mut self, now: Time) {
         let expired: Vec<String> = self
             .members
             .iter()
             .filter(|(_, record)| !record.version.state.is_active())
-            .filter(|(_, record)| now.saturating_sub(record.since) >= REMOVE_AFTER)
+            .filter(|(_, record)| now.duration_since(record.since) >= REMOVE_AFTER)
             .map(|(name, _)| name.clone())
             .collect();
         for name in expired {
--- a/crates/membership/src/membership/send_budget.rs
+++ b/crates/membership/src/membership/send_budget.rs
@@ -1,5 +1,6 @@
 //! The budget of what a member sends, in datagrams and in bytes.
 use crate::token_bucket::TokenBucket;
+use crankpaddle_time::Time;
 
 /// Both must allow a datagram.
 #[derive(Clone)]
@@ -9,7 +10,7 @@
 }
 
 impl SendBudget {
-    pub(super) fn new(datagrams_per_second: f64, bytes_per_second: f64, now: u64) -> SendBudget {
+    pub(super) fn new(datagrams_per_second: f64, bytes_per_second: f64, now: Time) -> SendBudget {
         SendBudget {
             datagrams: TokenBucket::new(datagrams_per_second, now),
             bytes: TokenBucket::new(bytes_per_second, now),
@@ -17,7 +18,7 @@
     }
 
     /// Whether a datagram of this size may be sent while `reserve` (a fraction) of the budget remains.
-    pub(super) fn try_take(&mut self, now: u64, size: usize, reserve: f64) -> bool {
+    pub(super) fn try_take(&mut self, now: Time, size: usize, reserve: f64) -> bool {
         self.datagrams.try_take(now, 1.0, reserve) && self.bytes.try_take(now, size as f64, reserve)
     }
 }
--- a/crates/membership/src/membership/tests.rs
+++ b/crates/membership/src/membership/tests.rs
@@ -3,6 +3,7 @@
 use super::{Membership, MembershipConfig};
 use crate::member_state::{MemberState, MemberVersion};
 use crate::wire::{Body, DatagramBuilder};
+use crankpaddle_time::Time;
 use stateright::{Checker, Model, Property};
 use std::hash::{Hash, Hasher};
 
@@ -29,7 +30,7 @@
     /// Declares a member to be in a later state, without a reason.
     fn accuse(&mut self, name: &str, state: MemberState) {
         if self.state_of(name).is_some_and(|known| known < state) {
-            self.declare(0, name, state, &mut Vec::new());
+            self.declare(Time(0), name, state, &mut Vec::new());
         }
     }
 }
@@ -48,7 +49,7 @@
         incarnation,
         ..MembershipConfig::default()
     };
-    Membership::new(config, 1, 0)
+    Membership::new(config, 1, Time(0))
 }
 
 /// The version that each member knows of each, itself included.
@@ -78,7 +79,7 @@
 
     fn deliver(&mut self, to: usize, bytes: &[u8]) {
         if self.running[to] {
-            self.members[to].receive(0, "", bytes, &mut Vec::new());
+            self.members[to].receive(Time(0), "", bytes, &mut Vec::new());
         }
     }
 
@@ -88,7 +89,7 @@
 
     fn leave(&mut self, member: usize) {
         self.leaves -= 1;
-        self.members[member].leave(0, &mut Vec::new());
+        self.members[member].leave(Time(0), &mut Vec::new());
         for to in (0..MEMBERS).filter(|to| *to != member) {
             self.network.push(self.full_gossip(member, to));
         }
--- a/crates/membership/tests/fleet.rs
+++ b/crates/membership/tests/fleet.rs
@@ -3,6 +3,7 @@
     front_name, member_config, Cluster, DelayRange, SentDatagram, SimulatedNetwork, MS, SECOND,
 };
 use crankpaddle_membership::{LocalHealth, MemberState, Membership, MembershipConfig};
+use crankpaddle_time::Time;
 
 fn all(n: usize) -> Vec<usize> {
     (0..n).collect()
@@ -16,9 +17,9 @@
     assert!(took.is_some(), "seed {seed}: {n} never met");
     network.run(5 * SECOND);
     assert!(
-        network.accusations(0).is_empty(),
+        network.accusations(Time(0)).is_empty(),
         "seed {seed}: accused while they met: {:?}",
-        network.accusations(0)
+        network.accusations(Time(0))
     );
     network
 }
@@ -337,10 +338,10 @@
         let took = network
             .advance_until(20 * SECOND, most)
             .expect("it spreads");
-        assert!(took <= bound, "{n} at {loss}: {took}");
+        assert!(took <= bound, "{n} at {loss}: {took:?}");
         let took = network.advance_until(60 * SECOND, |network| (1..n).all(|i| holds(network, i)));
         assert!(took.is_some(), "digests mend what gossip missed");
-        let real = network.now - wrote;
+        let real = network.now.duration_since(wrote);
         for i in 1..n {
             let entry = network.nodes[i]
                 .membership
@@ -348,7 +349,7 @@
                 .expect("held");
             assert!(
                 entry.age <= real && real - entry.age < 100 * MS,
-                "{} for {real}",
+                "{:?} for {real:?}",
                 entry.age
             );
         }
@@ -484,9 +485,9 @@
             .find(|s| s.iter().any(|s| *s != Some(MemberState::Left)))
     );
     assert!(
-        network.accusations(0).is_empty(),
+        network.accusations(Time(0)).is_empty(),
         "{:?}",
-        network.accusations(0)
+        network.accusations(Time(0))
     );
 }
 
--- a/crates/membership/tests/wire_bytes.rs
+++ b/crates/membership/tests/wire_bytes.rs
@@ -1,6 +1,7 @@
 //! Wire bytes: the exact datagrams of each kind that members with fixed seeds and a fixed clock write, and that they are read.
 //! Names in the code may change; the literals here may not.
 use crankpaddle_membership::{Membership, MembershipConfig, Output};
+use crankpaddle_time::{nanoseconds, Time};
 use siphasher::sip::SipHasher24;
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::Hasher;
@@ -59,7 +60,7 @@
         },
         ..MembershipConfig::default()
     };
-    Membership::new(settings, seed, 0)
+    Membership::new(settings, seed, Time(0))
 }
 
 /// The kinds of a datagram's sections, and the first byte of its body's.
@@ -82,11 +83,13 @@
         .zip(1..)
         .map(|(name, seed)| member(name, seed))
         .collect();
-    members[1].write(0, 7, vec![1, 2, 3]).expect("short");
-    members[2].write(0, 200, b"value".to_vec()).expect("short");
+    members[1].write(Time(0), 7, vec![1, 2, 3]).expect("short");
+    members[2]
+        .write(Time(0), 200, b"value".to_vec())
+        .expect("short");
     let mut sent = Vec::new();
     for millisecond in 0..20_000 {
-        let now = millisecond * MILLISECOND;
+        let now = Time(millisecond * MILLISECOND);
         let mut queue: VecDeque<(usize, Output)> = VecDeque::new();
         for (at, member) in members.iter_mut().enumerate() {
             let mut out = Vec::new();
@@ -114,7 +117,7 @@
         }
     }
     let mut out = Vec::new();
-    members[0].leave(20_000 * MILLISECOND, &mut out);
+    members[0].leave(Time(20_000 * MILLISECOND), &mut out);
     sent.extend(out.into_iter().filter_map(datagram));
     sent
 }
@@ -149,7 +152,7 @@
         _ => ("e", 5),
     };
     let (mut reader, mut out) = (member(name, seed), Vec::new());
-    reader.receive(0, "10.0.0.9:7", bytes, &mut out);
+    reader.receive(Time(0), "10.0.0.9:7", bytes, &mut out);
     (reader, out.into_iter().filter_map(datagram).collect())
 }
 
@@ -161,12 +164,13 @@
         text += &format!("{} {} {} by {}; ", m.name, m.address, m.state as u8, m.by);
     }
     for (owner, key) in [("b", 7), ("c", 200)] {
-        if let Some(entry) = reader.entry(0, owner, key) {
+        if let Some(entry) = reader.entry(Time(0), owner, key) {
             let version = entry.version;
             let version = (version.epoch, version.incarnation, version.write_count);
             text += &format!(
                 "{owner}/{key} {:?} {} {version:?}; ",
-                entry.value, entry.age
+                entry.value,
+                nanoseconds(entry.age)
             );
         }
     }
@@ -221,7 +225,7 @@
         .find(|(name, ..)| *name == "gossip")
         .expect("it is there");
     let (mut reader, _) = reader(&bytes(gossip));
-    reader.receive(0, "10.0.0.1:7", &leave, &mut Vec::new());
+    reader.receive(Time(0), "10.0.0.1:7", &leave, &mut Vec::new());
     let states: Vec<(String, u8)> = reader
         .members()
         .into_iter()
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -34,6 +34,7 @@
 };
 use crankpaddle_membership::{LocalHealth, MemberState};
 use crankpaddle_net::clock;
+use crankpaddle_time::Time;
 use std::io;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -142,12 +143,12 @@
         self.processes.len()
     }
 
-    fn now(&self) -> u64 {
-        clock::now().as_nanos()
+    fn now(&self) -> Time {
+        clock::now()
     }
 
-    fn run(&mut self, time: u64) {
-        std::thread::sleep(Duration::from_nanos(time));
+    fn run(&mut self, time: Duration) {
+        std::thread::sleep(time);
     }
 
     fn act(&mut self, act: &Act) -> Result<(), ActionError> {
@@ -174,7 +175,7 @@
             Act::Net { .. } | Act::Cut { .. } | Act::Heal | Act::Flood(..) => {
                 let act = act.clone();
                 self.mesh.change(move |net| {
-                    net.act(&act, n, DelayRange { min: 0, max: 0 });
+                    net.act(&act, n, DelayRange::NONE);
                 });
             }
             Act::Runs(fronts, other) => {
@@ -197,7 +198,7 @@
         self.views.local_health(at)
     }
 
-    fn transitions(&self, from: u64) -> Vec<MemberTransition> {
+    fn transitions(&self, from: Time) -> Vec<MemberTransition> {
         self.views.state_changes(from)
     }
 
@@ -215,8 +216,10 @@
         })
     }
 
-    fn warm_up_time(&self, sessions: f64) -> Option<u64> {
-        self.hosts.as_ref()?.warming(&self.stage.config, sessions)
+    fn warm_up_time(&self, sessions: f64) -> Option<Duration> {
+        let hosts = self.hosts.as_ref()?;
+        let time = hosts.warming(&self.stage.config, sessions)?;
+        Some(Duration::from_nanos(time))
     }
 
     fn sent(&self) -> Rate {
--- a/crates/testbed/src/membership_poll.rs
+++ b/crates/testbed/src/membership_poll.rs
@@ -4,6 +4,7 @@
 use crankpaddle_fault_simulation::{front_number, MemberTransition};
 use crankpaddle_membership::{LocalHealth, MemberState};
 use crankpaddle_net::clock;
+use crankpaddle_time::Time;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -13,7 +14,6 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// A front that does not answer in this time is polled again.
 const POLL_TIMEOUT: Duration = Duration::from_secs(1);
-const MILLISECOND: u64 = 1_000_000;
 
 /// What one incarnation of a front reported.
 #[derive(Default)]
@@ -103,7 +103,7 @@
         let Ok(body) = crankpaddle_traffic_report::get(&address, "/members", POLL_TIMEOUT) else {
             return;
         };
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         let Ok(members) = serde_json::from_slice::<Members>(&body) else {
             let missed = format!("front {front} told of no members");
             self.lock().missed.push(missed);
@@ -142,7 +142,7 @@
 
     /// Changes of state since a time, in the order of their times.
     #[must_use]
-    pub fn state_changes(&self, from: u64) -> Vec<MemberTransition> {
+    pub fn state_changes(&self, from: Time) -> Vec<MemberTransition> {
         let state = self.lock();
         let since = state.state_changes.iter().filter(|turn| turn.at >= from);
         let mut state_changes: Vec<MemberTransition> = since.cloned().collect();
@@ -159,7 +159,7 @@
 
 impl State {
     /// Takes over a front's report, which arrived at `now`.
-    fn update(&mut self, front: usize, members: &Members, now: u64) {
+    fn update(&mut self, front: usize, members: &Members, now: Time) {
         let view = &mut self.views[front];
         view.local_health = Some(local_health(members.standing));
         for peer in &members.members {
@@ -184,7 +184,7 @@
                 continue;
             };
             self.state_changes.push(MemberTransition {
-                at: now.saturating_sub(turn.ago_ms * MILLISECOND),
+                at: now - Duration::from_millis(turn.ago_ms),
                 by: front,
                 of,
                 state: member_state(turn.state),
--- a/crates/testbed/src/udp_proxy.rs
+++ b/crates/testbed/src/udp_proxy.rs
@@ -9,6 +9,7 @@
 //! stand-ins' work.
 use crankpaddle_fault_simulation::{DelayRange, Link, NetworkConditions};
 use crankpaddle_net::clock;
+use crankpaddle_time::{nanoseconds, Time};
 use rustix::event::epoll::{self, CreateFlags, EventData, EventFlags};
 use rustix::event::Timespec;
 use std::cmp::Reverse;
@@ -81,7 +82,7 @@
             sockets,
             poll,
             front_addresses: vec![None; size],
-            conditions: NetworkConditions::good(DelayRange { min: 0, max: 0 }),
+            conditions: NetworkConditions::good(DelayRange::NONE),
             rng: oorandom::Rand64::new(u128::from(seed)),
             in_transit: BinaryHeap::new(),
             datagram_count: 0,
@@ -173,7 +174,7 @@
 /// A datagram on its way. Ordered by arrival, then by the order of reading.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 struct Datagram {
-    arrives_at: u64,
+    arrives_at: Time,
     number: u64,
     from: usize,
     to: usize,
@@ -212,8 +213,8 @@
     /// Waits until a datagram can be read or delivered, for [`MAX_WAIT`] at most, and handles it.
     fn step(&mut self) -> io::Result<()> {
         let next = self.in_transit.peek();
-        let due = next.map_or(u64::MAX, |Reverse(datagram)| datagram.arrives_at);
-        let wait = due.saturating_sub(clock::now().as_nanos()).min(MAX_WAIT);
+        let due = next.map_or(Time::MAX, |Reverse(datagram)| datagram.arrives_at);
+        let wait = nanoseconds(due.duration_since(clock::now())).min(MAX_WAIT);
         for index in self.wait_for_events(wait)? {
             self.read(index);
         }
@@ -262,7 +263,7 @@
             .bytes
             .fetch_add(bytes.len() as u64, Ordering::Relaxed);
         self.front_addresses[from] = Some(sender);
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         let arrivals = self
             .conditions
             .arrivals(now, Link { from, to }, bytes.len(), &mut self.rng);
@@ -279,7 +280,7 @@
     }
 
     fn deliver_due(&mut self) {
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         while let Some(Reverse(next)) = self.in_transit.peek() {
             if next.arrives_at > now {
                 return;
