--- a/crates/cli/src/testbed/fleet_case.rs
+++ b/crates/cli/src/testbed/fleet_case.rs
@@ -3,7 +3,7 @@
 use super::fleet_processes;
 use crate::failure::{exit_code_of, CommandFailure};
 use clap::Args;
-use crankpaddle_fault_simulation::{Case, CaseResult, SimulatedNetwork, CASES};
+use crankpaddle_fault_simulation::{Case, CaseResult, SendRate, SimulatedNetwork, CASES};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -153,7 +153,7 @@
         let verdict = if claim.holds { "kept" } else { "BROKEN" };
         eprintln!("{verdict}: {}: {}", claim.claim, claim.measured);
     }
-    let (datagrams, bytes) = played.sent;
+    let SendRate { datagrams, bytes } = played.sent;
     eprintln!("sent by one front at most: {datagrams:.1} datagrams, {bytes:.0} bytes a second");
     played.satisfied_claims()
 }
--- a/crates/fault-simulation/examples/foca.rs
+++ b/crates/fault-simulation/examples/foca.rs
@@ -3,12 +3,12 @@
 //! network, but members that are down are announced to every 2 s as ours are (65 s there). It has no local health, no gossip
 //! state and no state for members that left; claims on these don't hold for that reason alone.
 use crankpaddle_fault_simulation::{
-    carry_out, front_name, parse, play, Act, ActionError, Case, Cluster, Entry, EventQueue, Link,
-    MemberTransition, NetworkConditions, Power, Rate, SimulatedProcesses, CASES, SOCKET_BACKLOG,
+    front_name, parse, play, ActionError, Case, Entry, EventQueue, HostAction, Link,
+    MemberTransition, NetworkConditions, ProcessState, SentCounts, SimulatedProcesses, CASES,
     START_OF_TIME, USUAL_DELAY,
 };
 use crankpaddle_membership::{LocalHealth, MemberState};
-use crankpaddle_time::{nanoseconds, Time};
+use crankpaddle_time::Time;
 use foca::{
     AccumulatingRuntime, Config, Foca, Identity, NoCustomBroadcast, OwnedNotification,
     PeriodicParams, PostcardCodec, Timer,
@@ -21,7 +21,6 @@
 
 /// Time between two attempts to join through the seeds.
 const JOIN_INTERVAL: Duration = Duration::from_secs(2);
-const NANOSECONDS_PER_SECOND: f64 = 1e9;
 /// Incarnations of a restarted process are this far apart: `foca` itself raises them by one.
 const INCARNATION_STEP: u64 = 1000;
 
@@ -54,14 +53,11 @@
 
 struct Node {
     member: Member,
-    is_running: bool,
-    is_paused: bool,
+    process: ProcessState<Vec<u8>>,
     incarnation: u64,
-    backlog: Vec<Vec<u8>>,
     overdue_timers: Vec<Timer<Id>>, // Timers that expired while it was paused.
     views: Vec<Option<View>>,
-    datagrams_sent: u64,
-    bytes_sent: u64,
+    sent: SentCounts,
 }
 
 /// What a member knows of another.
@@ -129,14 +125,11 @@
         for number in 0..fronts {
             network.nodes.push(Node {
                 member: member(fronts, number, 1, network.rng.rand_u64()),
-                is_running: false,
-                is_paused: false,
+                process: ProcessState::new(false),
                 incarnation: 1,
-                backlog: Vec::new(),
                 overdue_timers: Vec::new(),
                 views: vec![None; fronts],
-                datagrams_sent: 0,
-                bytes_sent: 0,
+                sent: SentCounts::default(),
             });
         }
         for number in case.first.of(fronts) {
@@ -153,7 +146,7 @@
         let node = &mut self.nodes[number];
         node.member = member(fronts, number, incarnation, seed);
         node.incarnation = incarnation;
-        node.is_running = true;
+        node.process.start();
         node.views = vec![None; fronts];
         let join = Event::Join {
             node: number,
@@ -190,8 +183,8 @@
 
     fn send(&mut self, from: usize, to: usize, bytes: &[u8]) {
         let node = &mut self.nodes[from];
-        node.datagrams_sent += 1;
-        node.bytes_sent += bytes.len() as u64;
+        node.sent.datagrams += 1;
+        node.sent.bytes += bytes.len() as u64;
         let arrivals =
             self.conditions
                 .arrivals(self.now, Link { from, to }, bytes.len(), &mut self.rng);
@@ -247,30 +240,27 @@
     }
 
     fn handle_datagram(&mut self, to: usize, bytes: Vec<u8>) {
-        let node = &mut self.nodes[to];
-        match (node.is_running, node.is_paused) {
-            (true, false) => self.receive(to, &bytes),
-            (true, true) if node.backlog.len() < SOCKET_BACKLOG => node.backlog.push(bytes),
-            _ => {}
+        if let Some(bytes) = self.nodes[to].process.accept(bytes) {
+            self.receive(to, &bytes);
         }
     }
 
     fn handle_timer(&mut self, number: usize, incarnation: u64, timer: Timer<Id>) {
         let node = &mut self.nodes[number];
-        match (
-            node.is_running && node.incarnation == incarnation,
-            node.is_paused,
-        ) {
-            (true, false) => self.expire(number, timer),
-            (true, true) => node.overdue_timers.push(timer),
-            _ => {}
+        if !node.process.is_running() || node.incarnation != incarnation {
+            return;
+        }
+        if node.process.is_paused() {
+            node.overdue_timers.push(timer);
+        } else {
+            self.expire(number, timer);
         }
     }
 
     /// Announces a process to the seeds until one of them answers, as any program that uses the crate would.
     fn join(&mut self, number: usize, incarnation: u64) {
         let node = &self.nodes[number];
-        let is_current = node.is_running && node.incarnation == incarnation;
+        let is_current = node.process.is_running() && node.incarnation == incarnation;
         if !is_current || node.member.num_members() > 0 {
             return;
         }
@@ -298,7 +288,7 @@
     }
 
     fn is_running(&self, front: usize) -> bool {
-        self.nodes[front].is_running
+        self.nodes[front].process.is_running()
     }
 
     fn restart(&mut self, front: usize) {
@@ -306,7 +296,7 @@
     }
 
     fn kill(&mut self, front: usize) {
-        self.nodes[front].is_running = false;
+        self.nodes[front].process.kill();
     }
 
     fn leave(&mut self, front: usize) {
@@ -314,13 +304,12 @@
     }
 
     fn pause(&mut self, front: usize) {
-        self.nodes[front].is_paused = true;
+        self.nodes[front].process.pause();
     }
 
     fn resume(&mut self, front: usize) {
         let node = &mut self.nodes[front];
-        node.is_paused = false;
-        let backlog = std::mem::take(&mut node.backlog);
+        let backlog = node.process.resume();
         let timers = std::mem::take(&mut node.overdue_timers);
         for bytes in backlog {
             self.receive(front, &bytes);
@@ -335,7 +324,7 @@
         Err(ActionError::Unsupported(what))
     }
 
-    fn act_on_hosts(&mut self, _: &Power) -> Result<(), ActionError> {
+    fn act_on_hosts(&mut self, _: &HostAction) -> Result<(), ActionError> {
         Err(ActionError::Unsupported(
             "only processes have disks".to_owned(),
         ))
@@ -353,53 +342,32 @@
     fn conditions(&mut self) -> &mut NetworkConditions {
         &mut self.conditions
     }
-}
-
-impl Cluster for FocaNetwork {
-    fn fronts(&self) -> usize {
-        self.nodes.len()
-    }
 
-    fn now(&self) -> Time {
+    fn clock(&self) -> Time {
         self.now
     }
 
-    fn run(&mut self, time: Duration) {
-        self.advance(time);
-    }
-
-    fn act(&mut self, act: &Act) -> Result<(), ActionError> {
-        carry_out(self, act)
-    }
-
-    fn state(&self, at: usize, of: usize) -> Option<MemberState> {
+    fn member_state(&self, at: usize, of: usize) -> Option<MemberState> {
         self.nodes[at].views[of].map(|view| view.state)
     }
 
-    fn local_health(&self, _: usize) -> Option<LocalHealth> {
+    fn own_health(&self, _: usize) -> Option<LocalHealth> {
         None
     }
 
-    fn transitions(&self, from: Time) -> Vec<MemberTransition> {
+    fn transitions_since(&self, from: Time) -> Vec<MemberTransition> {
         let first = self
             .transitions
             .partition_point(|transition| transition.at < from);
         self.transitions[first..].to_vec()
     }
 
-    fn entry(&self, _: usize) -> Option<Entry> {
+    fn last_entry(&self, _: usize) -> Option<Entry> {
         None
     }
 
-    fn sent(&self) -> Rate {
-        let elapsed = nanoseconds(self.now.duration_since(START_OF_TIME));
-        let seconds = elapsed.max(1) as f64 / NANOSECONDS_PER_SECOND;
-        let mut most: Rate = (0.0, 0.0);
-        for node in &self.nodes {
-            most.0 = most.0.max(node.datagrams_sent as f64 / seconds);
-            most.1 = most.1.max(node.bytes_sent as f64 / seconds);
-        }
-        most
+    fn sent_by(&self, front: usize) -> SentCounts {
+        self.nodes[front].sent
     }
 }
 
@@ -428,7 +396,7 @@
                 );
             }
             let ((kept, all), sent) = (result.satisfied_claims(), result.sent);
-            println!("foca {wanted}: fronts {fronts}, claims kept {kept}/{all}, {:.1} datagrams, {:.0} bytes a second", sent.0, sent.1);
+            println!("foca {wanted}: fronts {fronts}, claims kept {kept}/{all}, {:.1} datagrams, {:.0} bytes a second", sent.datagrams, sent.bytes);
         }
     }
 }
--- a/crates/fault-simulation/src/cluster.rs
+++ b/crates/fault-simulation/src/cluster.rs
@@ -1,6 +1,6 @@
 //! The interface of what a scenario runs on: a fleet in one process, or one of processes.
 use crate::error::ActionError;
-use crate::scenario::Act;
+use crate::scenario::Action;
 use crankpaddle_membership::{LocalHealth, MemberState};
 use crankpaddle_time::Time;
 use std::time::Duration;
@@ -20,8 +20,25 @@
     pub restarted: bool,
 }
 
-/// Datagrams and bytes a second, sent by the front that sent most.
-pub type Rate = (f64, f64);
+/// What is sent in a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SendRate {
+    /// Datagrams a second.
+    pub datagrams: f64,
+    /// Bytes a second.
+    pub bytes: f64,
+}
+
+impl SendRate {
+    /// The greater rate of datagrams and the greater rate of bytes, each by itself.
+    #[must_use]
+    pub fn max(self, other: SendRate) -> SendRate {
+        SendRate {
+            datagrams: self.datagrams.max(other.datagrams),
+            bytes: self.bytes.max(other.bytes),
+        }
+    }
+}
 
 /// Sessions that were lost with the power.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -55,7 +72,7 @@
     ///
     /// # Errors
     /// This cluster can't carry it out.
-    fn act(&mut self, act: &Act) -> Result<(), ActionError>;
+    fn act(&mut self, action: &Action) -> Result<(), ActionError>;
     /// The state that front `at` sees front `of` in; `None`: it does not know it, or was not asked yet.
     fn state(&self, at: usize, of: usize) -> Option<MemberState>;
     /// A front's own health.
@@ -64,8 +81,8 @@
     fn transitions(&self, from: Time) -> Vec<MemberTransition>;
     /// The entry that was written last, as one front knows it; `None`: it does not.
     fn entry(&self, at: usize) -> Option<Entry>;
-    /// The highest rate of one front, over the whole run.
-    fn sent(&self) -> Rate;
+    /// The highest rate of one front, averaged over the complete run.
+    fn sent(&self) -> SendRate;
     /// Sessions lost when the power failed (of paid classes, or of all). `None`: there are no sessions here.
     fn recovery_progress(&self, _paid: bool) -> Option<RecoveryProgress> {
         None
--- a/crates/fault-simulation/src/lib.rs
+++ b/crates/fault-simulation/src/lib.rs
@@ -12,18 +12,21 @@
 mod simulated_network;
 mod simulated_process;
 
-pub use cluster::{all_see, Cluster, Entry, MemberTransition, Rate, RecoveryProgress};
+pub use cluster::{all_see, Cluster, Entry, MemberTransition, RecoveryProgress, SendRate};
 pub use error::{ActionError, FrontsError};
 pub use event_queue::EventQueue;
 pub use network_conditions::{Link, LinkFilter, NetworkConditions};
 pub use runner::{play, CaseResult, ClaimResult};
-pub use scenario::{parse, Act, Bound, Case, Claim, DelayRange, Fronts, Power, Spoil, Step, CASES};
+pub use scenario::{
+    parse, Action, Bound, Build, Case, Claim, DelayRange, DiskState, Fronts, HostAction, Step,
+    CASES,
+};
 pub use simulated_network::{
     front_name, front_number, member_config, ChangeRecord, HealthRecord, SentDatagram,
     SimulatedNetwork, SimulatedNode,
 };
 pub use simulated_process::{
-    carry_out, SimulatedProcesses, SOCKET_BACKLOG, START_OF_TIME, USUAL_DELAY,
+    ProcessState, SentCounts, SimulatedProcesses, START_OF_TIME, USUAL_DELAY,
 };
 
 use crankpaddle_time::nanoseconds;
--- a/crates/fault-simulation/src/network_conditions.rs
+++ b/crates/fault-simulation/src/network_conditions.rs
@@ -3,7 +3,7 @@
 #[cfg(test)]
 mod tests;
 
-use crate::scenario::{Act, DelayRange, Fronts};
+use crate::scenario::{Action, DelayRange, Fronts};
 use crate::NANOSECONDS_PER_SECOND;
 use crankpaddle_time::Time;
 use std::collections::HashMap;
@@ -36,7 +36,7 @@
     pub bandwidth: f64,
     /// Whether a datagram from one front to another passes now.
     pub link_filter: LinkFilter,
-    /// Fronts whose datagrams arrive so many times.
+    /// Copies that arrive of each datagram of a front; one of the others'.
     pub floods: HashMap<usize, u32>,
     cuts: Vec<Cut>,
     busy_until: HashMap<Link, Time>, // Of links with a bandwidth.
@@ -82,9 +82,9 @@
 
     /// Carries out an action on the network between so many fronts; other actions are ignored. `usual`: the transit time where
     /// the scenario states none.
-    pub fn act(&mut self, act: &Act, fleet: usize, usual: DelayRange) {
-        match act {
-            Act::Net {
+    pub fn act(&mut self, action: &Action, fleet: usize, usual: DelayRange) {
+        match action {
+            Action::SetNetwork {
                 loss,
                 duplicated,
                 delay,
@@ -95,22 +95,26 @@
                 self.bandwidth = *bandwidth;
                 self.delay = delay.unwrap_or(usual);
             }
-            Act::Cut { from, to, both } => {
+            Action::Partition {
+                from,
+                to,
+                both_ways,
+            } => {
                 self.cuts.push(Cut::new(from, to, fleet));
-                if *both {
+                if *both_ways {
                     self.cuts.push(Cut::new(to, from, fleet));
                 }
                 let cuts = self.cuts.clone();
                 self.link_filter =
                     Box::new(move |from, to| !cuts.iter().any(|cut| cut.blocks(from, to)));
             }
-            Act::Heal => {
+            Action::Heal => {
                 self.cuts.clear();
                 self.link_filter = Box::new(|_, _| true);
             }
-            Act::Flood(fronts, times) => {
+            Action::Flood { fronts, copies } => {
                 for front in fronts.of(fleet) {
-                    self.floods.insert(front, *times);
+                    self.floods.insert(front, *copies);
                 }
             }
             _ => {}
@@ -129,8 +133,8 @@
         if !(self.link_filter)(link.from, link.to) {
             return arrivals;
         }
-        let times = self.floods.get(&link.from).copied().unwrap_or(1);
-        for _ in 0..times {
+        let copies_sent = self.floods.get(&link.from).copied().unwrap_or(1);
+        for _ in 0..copies_sent {
             if rng.rand_float() < self.loss {
                 continue;
             }
--- a/crates/fault-simulation/src/runner.rs
+++ b/crates/fault-simulation/src/runner.rs
@@ -1,7 +1,7 @@
 //! Runs a case on a cluster and checks what it claims.
 mod checks;
 
-use crate::cluster::{Cluster, Rate};
+use crate::cluster::{Cluster, SendRate};
 use crate::error::ActionError;
 use crate::scenario::{Case, Step};
 
@@ -21,8 +21,8 @@
 pub struct CaseResult {
     /// Its claims.
     pub claims: Vec<ClaimResult>,
-    /// The most that one front sent, in datagrams and bytes a second, over the whole case.
-    pub sent: Rate,
+    /// The highest rate of one front, averaged over the complete case.
+    pub sent: SendRate,
 }
 
 impl CaseResult {
@@ -43,7 +43,7 @@
     let mut mark = cluster.now();
     for step in &case.steps {
         match step {
-            Step::Act(act) => cluster.act(act)?,
+            Step::Action(action) => cluster.act(action)?,
             Step::Run(time) => cluster.run(*time),
             Step::Mark => mark = cluster.now(),
             Step::Claim { name, claim } => {
--- a/crates/fault-simulation/src/scenario.rs
+++ b/crates/fault-simulation/src/scenario.rs
@@ -7,7 +7,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use action::{Act, DelayRange, Power, Spoil};
+pub use action::{Action, Build, DelayRange, DiskState, HostAction};
 pub use built_in::CASES;
 pub use claim::{Bound, Claim};
 pub use fronts::Fronts;
@@ -19,7 +19,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
     /// An action is carried out.
-    Act(Act),
+    Action(Action),
     /// Time passes.
     Run(Duration),
     /// Accusations and restarts count from here on.
@@ -58,13 +58,13 @@
     pub fn needs_gossip_state(&self) -> bool {
         self.steps
             .iter()
-            .any(|step| matches!(step, Step::Act(Act::Write(_))))
+            .any(|step| matches!(step, Step::Action(Action::WriteEntry { .. })))
     }
 
     /// Whether it needs processes with disks.
     #[must_use]
     pub fn needs_disks(&self) -> bool {
-        let acts_on_hosts = |step: &Step| matches!(step, Step::Act(Act::Power(_)));
+        let acts_on_hosts = |step: &Step| matches!(step, Step::Action(Action::Host(_)));
         self.disks || self.steps.iter().any(acts_on_hosts)
     }
 }
--- a/crates/fault-simulation/src/scenario/action.rs
+++ b/crates/fault-simulation/src/scenario/action.rs
@@ -3,23 +3,28 @@
 use crankpaddle_time::nanoseconds;
 use std::time::Duration;
 
-/// An action of a scenario.
+/// An action of a scenario. The names of a case's steps in `proto/case.proto` are older; the parser maps them.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Act {
-    /// They start, from nothing.
+pub enum Action {
+    /// Starts those that do not run, as new incarnations.
     Start(Fronts),
-    /// They are killed.
+    /// Kills them.
     Kill(Fronts),
-    /// They shut down in order.
-    End(Fronts),
-    /// They are paused.
-    Stop(Fronts),
-    /// They are resumed.
-    GoOn(Fronts),
-    /// They are killed and started again after a time.
-    Restart(Fronts, Duration),
-    /// The conditions of the network from now on.
-    Net {
+    /// Shuts them down gracefully (`end`).
+    ShutDown(Fronts),
+    /// Pauses them (`stop`).
+    Pause(Fronts),
+    /// Resumes them (`go_on`).
+    Resume(Fronts),
+    /// Kills them and starts them again.
+    Restart {
+        /// The fronts.
+        fronts: Fronts,
+        /// Time until they start again.
+        after: Duration,
+    },
+    /// Sets the conditions of the network from now on (`net`).
+    SetNetwork {
         /// Part of the datagrams that is lost.
         loss: f64,
         /// Part that is duplicated.
@@ -29,32 +34,54 @@
         /// Bytes a second from one front to another.
         bandwidth: f64,
     },
-    /// Nothing passes from these to those.
-    Cut {
+    /// Drops everything that is sent from some fronts to others (`cut`).
+    Partition {
         /// The senders.
         from: Fronts,
         /// The receivers.
         to: Fronts,
-        /// Whether nothing passes the other way either.
-        both: bool,
+        /// Whether the opposite direction is dropped as well.
+        both_ways: bool,
     },
-    /// All cuts are undone.
+    /// Ends all partitions.
     Heal,
-    /// Their datagrams arrive so many times.
-    Flood(Fronts, u32),
-    /// A front writes its entry of the gossip state.
-    Write(usize),
+    /// Delivers several copies of each datagram of some fronts.
+    Flood {
+        /// The fronts.
+        fronts: Fronts,
+        /// Copies of each datagram.
+        copies: u32,
+    },
+    /// Has a front write its entry of the gossip state (`write`).
+    WriteEntry {
+        /// The front.
+        front: usize,
+    },
     /// An action on what only real processes have: power, disks, servers with session inventories.
-    Power(Power),
-    /// From their next start on they run the other build (`true`), or the first.
-    Runs(Fronts, bool),
+    Host(HostAction),
+    /// Selects the build that fronts run from their next start on (`runs`).
+    SelectBuild {
+        /// The fronts.
+        fronts: Fronts,
+        /// The build.
+        build: Build,
+    },
+}
+
+/// One of the two builds of the program that are compared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Build {
+    /// The one that all fronts run at first.
+    First,
+    /// The other one.
+    Other,
 }
 
 /// An action on hosts.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Power {
+pub enum HostAction {
     /// Hosts lose power in one instant.
-    Off {
+    PowerOff {
         /// Fronts that stop.
         fronts: Fronts,
         /// Servers that stop.
@@ -63,7 +90,7 @@
         list_service: bool,
     },
     /// Hosts have power again.
-    On {
+    PowerOn {
         /// Fronts that start.
         fronts: Fronts,
         /// Servers that start.
@@ -72,22 +99,27 @@
         list_service: bool,
     },
     /// Disks are copied as they are.
-    Copy(Fronts),
-    /// Disks are found in this state.
-    Disk(Fronts, Spoil),
+    CopyDisks(Fronts),
+    /// Disks are replaced by one in another state.
+    SetDisks {
+        /// The fronts whose disks they are.
+        fronts: Fronts,
+        /// The state that the disks are found in.
+        state: DiskState,
+    },
     /// Servers lose their session inventories.
     LoseSessionInventories(Fronts),
 }
 
 /// The state that a disk is found in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Spoil {
+pub enum DiskState {
     /// As it was.
     Intact,
     /// Empty.
     Empty,
     /// As it was when it was copied.
-    Old,
+    Outdated,
     /// With a torn write.
     Torn,
 }
--- a/crates/fault-simulation/src/scenario/parser.rs
+++ b/crates/fault-simulation/src/scenario/parser.rs
@@ -1,5 +1,5 @@
 //! Reads a case from protobuf text format, checked with line, column and what is allowed.
-use super::{Act, Bound, Case, Claim, DelayRange, Fronts, Power, Spoil, Step};
+use super::{Action, Bound, Build, Case, Claim, DelayRange, DiskState, Fronts, HostAction, Step};
 use crankpaddle_membership::{LocalHealth, MemberState};
 use crankpaddle_textproto::{Checks, Problem};
 use std::collections::HashMap;
@@ -66,7 +66,7 @@
             return Step::Mark;
         };
         let path = |field: &str| format!("{at}.{field}");
-        let act = match kind {
+        let action = match kind {
             Raw::Run(time) => return Step::Run(self.time(&path("run"), time)),
             Raw::Mark(_) => return Step::Mark,
             Raw::See(raw) => return self.see(&path("see"), raw),
@@ -75,28 +75,39 @@
             Raw::News(raw) => return self.restarted(&path("news"), raw),
             Raw::Back(raw) => return self.recovered(&path("back"), raw),
             Raw::Holds(raw) => return self.entry_known(&path("holds"), raw),
-            Raw::Start(text) => Act::Start(self.fronts(&path("start"), text)),
-            Raw::Kill(text) => Act::Kill(self.fronts(&path("kill"), text)),
-            Raw::End(text) => Act::End(self.fronts(&path("end"), text)),
-            Raw::Stop(text) => Act::Stop(self.fronts(&path("stop"), text)),
-            Raw::GoOn(text) => Act::GoOn(self.fronts(&path("go_on"), text)),
+            Raw::Start(text) => Action::Start(self.fronts(&path("start"), text)),
+            Raw::Kill(text) => Action::Kill(self.fronts(&path("kill"), text)),
+            Raw::End(text) => Action::ShutDown(self.fronts(&path("end"), text)),
+            Raw::Stop(text) => Action::Pause(self.fronts(&path("stop"), text)),
+            Raw::GoOn(text) => Action::Resume(self.fronts(&path("go_on"), text)),
             Raw::Restart(raw) => self.restart(&path("restart"), raw),
             Raw::Net(raw) => self.net(&path("net"), raw),
             Raw::Cut(raw) => self.cut(&path("cut"), raw),
-            Raw::Heal(_) => Act::Heal,
+            Raw::Heal(_) => Action::Heal,
             Raw::Flood(raw) => self.flood(&path("flood"), raw),
-            Raw::Write(front) => Act::Write(*front as usize),
-            Raw::Runs(raw) => Act::Runs(self.fronts(&path("runs.fronts"), &raw.fronts), raw.other),
-            Raw::PowerOff(raw) => Act::Power(self.power_off(&path("power_off"), raw)),
-            Raw::PowerOn(raw) => Act::Power(self.power_on(&path("power_on"), raw)),
-            Raw::CopyDisks(text) => Act::Power(Power::Copy(self.fronts(&path("copy_disks"), text))),
-            Raw::Disk(raw) => Act::Power(self.disk(&path("disk"), raw)),
+            Raw::Write(front) => Action::WriteEntry {
+                front: *front as usize,
+            },
+            Raw::Runs(raw) => Action::SelectBuild {
+                fronts: self.fronts(&path("runs.fronts"), &raw.fronts),
+                build: if raw.other {
+                    Build::Other
+                } else {
+                    Build::First
+                },
+            },
+            Raw::PowerOff(raw) => Action::Host(self.power_off(&path("power_off"), raw)),
+            Raw::PowerOn(raw) => Action::Host(self.power_on(&path("power_on"), raw)),
+            Raw::CopyDisks(text) => Action::Host(HostAction::CopyDisks(
+                self.fronts(&path("copy_disks"), text),
+            )),
+            Raw::Disk(raw) => Action::Host(self.disk(&path("disk"), raw)),
             Raw::LoseBooks(text) => {
                 let servers = self.fronts(&path("lose_books"), text);
-                Act::Power(Power::LoseSessionInventories(servers))
+                Action::Host(HostAction::LoseSessionInventories(servers))
             }
         };
-        Step::Act(act)
+        Step::Action(action)
     }
 
     fn fronts(&mut self, path: &str, text: &str) -> Fronts {
@@ -143,14 +154,14 @@
 
 /// Actions.
 impl Parser<'_, '_> {
-    fn restart(&mut self, path: &str, raw: &schema::Restart) -> Act {
+    fn restart(&mut self, path: &str, raw: &schema::Restart) -> Action {
         let fronts = self.fronts(&format!("{path}.fronts"), &raw.fronts);
         let after = self.time(&format!("{path}.after"), &raw.after);
-        Act::Restart(fronts, after)
+        Action::Restart { fronts, after }
     }
 
-    fn net(&mut self, path: &str, raw: &schema::Net) -> Act {
-        Act::Net {
+    fn net(&mut self, path: &str, raw: &schema::Net) -> Action {
+        Action::SetNetwork {
             loss: self.part(&format!("{path}.loss"), raw.loss),
             duplicated: self.part(&format!("{path}.doubled"), raw.doubled),
             delay: self.delay(path, raw),
@@ -180,46 +191,49 @@
         self.checks.rate(path, text) * BYTES_PER_KILOBYTE
     }
 
-    fn cut(&mut self, path: &str, raw: &schema::Cut) -> Act {
-        Act::Cut {
+    fn cut(&mut self, path: &str, raw: &schema::Cut) -> Action {
+        Action::Partition {
             from: self.fronts(&format!("{path}.from"), &raw.from),
             to: self.fronts(&format!("{path}.to"), &raw.to),
-            both: !raw.one_way,
+            both_ways: !raw.one_way,
         }
     }
 
-    fn flood(&mut self, path: &str, raw: &schema::Flood) -> Act {
+    fn flood(&mut self, path: &str, raw: &schema::Flood) -> Action {
         let fronts = self.fronts(&format!("{path}.fronts"), &raw.fronts);
-        let times = self
+        let copies = self
             .checks
             .count(&format!("{path}.times"), raw.times, 1, 1000);
-        Act::Flood(fronts, times)
+        Action::Flood { fronts, copies }
     }
 
-    fn power_off(&mut self, path: &str, raw: &schema::Power) -> Power {
-        Power::Off {
+    fn power_off(&mut self, path: &str, raw: &schema::Power) -> HostAction {
+        HostAction::PowerOff {
             fronts: self.fronts(&format!("{path}.fronts"), or_default(&raw.fronts, "none")),
             servers: self.fronts(&format!("{path}.servers"), or_default(&raw.servers, "none")),
             list_service: raw.list,
         }
     }
 
-    fn power_on(&mut self, path: &str, raw: &schema::Power) -> Power {
-        Power::On {
+    fn power_on(&mut self, path: &str, raw: &schema::Power) -> HostAction {
+        HostAction::PowerOn {
             fronts: self.fronts(&format!("{path}.fronts"), or_default(&raw.fronts, "none")),
             servers: self.fronts(&format!("{path}.servers"), or_default(&raw.servers, "none")),
             list_service: raw.list,
         }
     }
 
-    fn disk(&mut self, path: &str, raw: &schema::Disk) -> Power {
-        let spoil = match raw.is() {
-            schema::Spoil::Intact => Spoil::Intact,
-            schema::Spoil::Empty => Spoil::Empty,
-            schema::Spoil::Old => Spoil::Old,
-            schema::Spoil::Torn => Spoil::Torn,
+    fn disk(&mut self, path: &str, raw: &schema::Disk) -> HostAction {
+        let state = match raw.is() {
+            schema::Spoil::Intact => DiskState::Intact,
+            schema::Spoil::Empty => DiskState::Empty,
+            schema::Spoil::Old => DiskState::Outdated,
+            schema::Spoil::Torn => DiskState::Torn,
         };
-        Power::Disk(self.fronts(&format!("{path}.fronts"), &raw.fronts), spoil)
+        HostAction::SetDisks {
+            fronts: self.fronts(&format!("{path}.fronts"), &raw.fronts),
+            state,
+        }
     }
 }
 
--- a/crates/fault-simulation/src/scenario/tests.rs
+++ b/crates/fault-simulation/src/scenario/tests.rs
@@ -1,4 +1,4 @@
-use super::{parse, Act, Fronts, Step, CASES};
+use super::{parse, Action, Fronts, Step, CASES};
 use std::collections::HashMap;
 
 #[test]
@@ -48,7 +48,7 @@
             "name: \"x\" step {{ net {{ bandwidth: {text:?} }} }}"
         ))
         .unwrap();
-        let Step::Act(Act::Net { bandwidth, .. }) = case.steps[0] else {
+        let Step::Action(Action::SetNetwork { bandwidth, .. }) = case.steps[0] else {
             panic!("{:?}", case.steps)
         };
         assert!((bandwidth - expected).abs() < 1e-6, "{text}: {bandwidth}");
--- a/crates/fault-simulation/src/simulated_network.rs
+++ b/crates/fault-simulation/src/simulated_network.rs
@@ -10,7 +10,7 @@
 use crate::event_queue::EventQueue;
 use crate::network_conditions::{Link, NetworkConditions};
 use crate::scenario::Case;
-use crate::simulated_process::{SOCKET_BACKLOG, START_OF_TIME, USUAL_DELAY};
+use crate::simulated_process::{ProcessState, SentCounts, START_OF_TIME, USUAL_DELAY};
 use crankpaddle_membership::{MemberState, Membership, MembershipConfig, Output};
 use crankpaddle_time::Time;
 use std::collections::BTreeMap;
@@ -32,21 +32,10 @@
 pub struct SimulatedNode {
     /// Its state machine.
     pub membership: Membership,
-    /// Whether it runs, paused or not.
-    pub is_running: bool,
-    /// Whether it is paused.
-    pub is_paused: bool,
+    process: ProcessState<SentDatagram>,
     address: String,
     seeds: Vec<usize>,
-    backlog: Vec<SentDatagram>, // Received while it was paused.
-    expiry: Time,               // Of the timer that is scheduled.
-}
-
-/// What previous incarnations of a process sent.
-#[derive(Clone, Copy, Default)]
-struct SentBefore {
-    datagrams: u64,
-    bytes: u64,
+    expiry: Time, // Of the timer that is scheduled.
 }
 
 /// The network and the processes on it.
@@ -70,7 +59,7 @@
     numbers: BTreeMap<String, usize>, // By address.
     last_write: Option<LastWrite>,
     restarts: u64,
-    sent_before: Vec<SentBefore>,
+    sent_before: Vec<SentCounts>, // By previous incarnations.
 }
 
 /// The entry that was written last.
@@ -117,7 +106,9 @@
         let seeds = case.seeds.of(fronts);
         for number in 0..fronts {
             network.start(member_config(number, &seeds));
-            network.nodes[number].is_running = case.first.has(number, fronts);
+            if !case.first.has(number, fronts) {
+                network.kill(number);
+            }
         }
         network
     }
@@ -133,11 +124,9 @@
         let membership = Membership::new(config, self.rng.rand_u64(), self.now);
         let node = SimulatedNode {
             membership,
-            is_running: true,
-            is_paused: false,
+            process: ProcessState::new(true),
             address: address.clone(),
             seeds,
-            backlog: Vec::new(),
             expiry: Time::MAX,
         };
         let number = match self.numbers.get(&address).copied() {
@@ -149,10 +138,7 @@
     }
 
     fn replace(&mut self, number: usize, node: SimulatedNode) -> usize {
-        let counters = self.nodes[number].membership.counters();
-        let sent_before = &mut self.sent_before[number];
-        sent_before.datagrams += counters.datagrams_sent;
-        sent_before.bytes += counters.bytes_sent;
+        self.sent_before[number] = self.sent_counts(number);
         self.nodes[number] = node;
         number
     }
@@ -160,7 +146,7 @@
     fn add(&mut self, address: String, node: SimulatedNode) -> usize {
         let number = self.nodes.len();
         self.nodes.push(node);
-        self.sent_before.push(SentBefore::default());
+        self.sent_before.push(SentCounts::default());
         self.numbers.insert(address, number);
         number
     }
@@ -249,23 +235,18 @@
     /// Runs a member's timers, unless the event was overtaken by another one.
     fn expire(&mut self, number: usize, at: Time) {
         let node = &mut self.nodes[number];
-        if node.is_running && !node.is_paused && node.expiry == at {
+        let can_run = node.process.is_running() && !node.process.is_paused();
+        if can_run && node.expiry == at {
             node.expiry = Time::MAX;
             self.with_member(number, Membership::expire);
         }
     }
 
     fn deliver(&mut self, datagram: SentDatagram) {
-        let receiver = &mut self.nodes[datagram.to];
-        if !receiver.is_running {
-            return;
-        }
-        if receiver.is_paused {
-            if receiver.backlog.len() < SOCKET_BACKLOG {
-                receiver.backlog.push(datagram);
-            }
+        let receiver = &mut self.nodes[datagram.to].process;
+        let Some(datagram) = receiver.accept(datagram) else {
             return;
-        }
+        };
         let from = self.nodes[datagram.from].address.clone();
         self.with_member(datagram.to, |member, now, out| {
             member.receive(now, &from, &datagram.bytes, out);
@@ -274,23 +255,32 @@
 
     /// Ends a process without notice.
     pub fn kill(&mut self, number: usize) {
-        self.nodes[number].is_running = false;
+        self.nodes[number].process.kill();
     }
 
     /// Pauses a process.
     pub fn pause(&mut self, number: usize) {
-        self.nodes[number].is_paused = true;
+        self.nodes[number].process.pause();
     }
 
     /// Resumes a process: what its socket buffered is received first, then its timers run.
     pub fn resume(&mut self, number: usize) {
-        self.nodes[number].is_paused = false;
-        for datagram in std::mem::take(&mut self.nodes[number].backlog) {
+        for datagram in self.nodes[number].process.resume() {
             self.deliver(datagram);
         }
         self.with_member(number, Membership::expire);
     }
 
+    /// What a process sent, its previous incarnations included.
+    fn sent_counts(&self, number: usize) -> SentCounts {
+        let counters = self.nodes[number].membership.counters();
+        let current = SentCounts {
+            datagrams: counters.datagrams_sent,
+            bytes: counters.bytes_sent,
+        };
+        self.sent_before[number] + current
+    }
+
     /// Whether each of `at` sees each of `of` (but itself) in this state.
     #[must_use]
     pub fn all_see(&self, at: &[usize], of: &[usize], state: MemberState) -> bool {
--- a/crates/fault-simulation/src/simulated_network/processes.rs
+++ b/crates/fault-simulation/src/simulated_network/processes.rs
@@ -1,14 +1,13 @@
-//! The simulated network as a cluster that scenarios run on.
+//! The simulated network's processes as scenarios control and see them.
 use super::{
-    front_name, member_config, LastWrite, SentBefore, SimulatedNetwork, SimulatedNode,
-    RESTART_EPOCH, RESTART_INCARNATIONS,
+    front_name, member_config, ChangeRecord, LastWrite, SimulatedNetwork, RESTART_EPOCH,
+    RESTART_INCARNATIONS,
 };
-use crate::cluster::{Cluster, Entry, MemberTransition, Rate};
+use crate::cluster::{Entry, MemberTransition};
 use crate::error::ActionError;
 use crate::network_conditions::NetworkConditions;
-use crate::scenario::{Act, Power};
-use crate::seconds;
-use crate::simulated_process::{carry_out, SimulatedProcesses, START_OF_TIME};
+use crate::scenario::HostAction;
+use crate::simulated_process::{SentCounts, SimulatedProcesses};
 use crankpaddle_membership::{LocalHealth, MemberState, Membership, MembershipConfig};
 use crankpaddle_time::Time;
 use std::time::Duration;
@@ -24,7 +23,7 @@
     }
 
     fn is_running(&self, front: usize) -> bool {
-        self.nodes[front].is_running
+        self.nodes[front].process.is_running()
     }
 
     /// Starts a process from nothing, on a host whose clock was set back.
@@ -65,7 +64,7 @@
         Ok(())
     }
 
-    fn act_on_hosts(&mut self, _: &Power) -> Result<(), ActionError> {
+    fn act_on_hosts(&mut self, _: &HostAction) -> Result<(), ActionError> {
         let what = "only processes have disks and servers; play it without --virtual";
         Err(ActionError::Unsupported(what.to_owned()))
     }
@@ -77,36 +76,22 @@
     fn conditions(&mut self) -> &mut NetworkConditions {
         &mut self.conditions
     }
-}
-
-impl Cluster for SimulatedNetwork {
-    fn fronts(&self) -> usize {
-        self.nodes.len()
-    }
 
-    fn now(&self) -> Time {
+    fn clock(&self) -> Time {
         self.now
     }
 
-    fn run(&mut self, time: Duration) {
-        self.advance(time);
-    }
-
-    fn act(&mut self, act: &Act) -> Result<(), ActionError> {
-        carry_out(self, act)
-    }
-
-    fn state(&self, at: usize, of: usize) -> Option<MemberState> {
+    fn member_state(&self, at: usize, of: usize) -> Option<MemberState> {
         self.nodes[at].membership.state_of(&front_name(of))
     }
 
-    fn local_health(&self, at: usize) -> Option<LocalHealth> {
-        Some(self.nodes[at].membership.local_health())
+    fn own_health(&self, front: usize) -> Option<LocalHealth> {
+        Some(self.nodes[front].membership.local_health())
     }
 
-    fn transitions(&self, from: Time) -> Vec<MemberTransition> {
+    fn transitions_since(&self, from: Time) -> Vec<MemberTransition> {
         let first = self.changes.partition_point(|record| record.at < from);
-        let transition = |record: &super::ChangeRecord| {
+        let transition = |record: &ChangeRecord| {
             Some(MemberTransition {
                 at: record.at,
                 by: record.by,
@@ -121,7 +106,7 @@
             .collect()
     }
 
-    fn entry(&self, at: usize) -> Option<Entry> {
+    fn last_entry(&self, at: usize) -> Option<Entry> {
         let write = self.last_write.as_ref()?;
         let reader = &self.nodes[at].membership;
         let entry = reader.entry(self.now, &front_name(write.node), ENTRY_KEY)?;
@@ -131,22 +116,7 @@
         })
     }
 
-    fn sent(&self) -> Rate {
-        let elapsed = self.now.duration_since(START_OF_TIME);
-        let seconds = seconds(elapsed.max(Duration::from_nanos(1)));
-        let rate = |(node, before): (&SimulatedNode, &SentBefore)| {
-            let counters = node.membership.counters();
-            (
-                (counters.datagrams_sent + before.datagrams) as f64 / seconds,
-                (counters.bytes_sent + before.bytes) as f64 / seconds,
-            )
-        };
-        self.nodes
-            .iter()
-            .zip(&self.sent_before)
-            .map(rate)
-            .fold((0.0, 0.0), |most: Rate, rate: Rate| {
-                (most.0.max(rate.0), most.1.max(rate.1))
-            })
+    fn sent_by(&self, front: usize) -> SentCounts {
+        self.sent_counts(front)
     }
 }
--- a/crates/fault-simulation/src/simulated_process.rs
+++ b/crates/fault-simulation/src/simulated_process.rs
@@ -1,8 +1,12 @@
-//! Actions of a scenario on processes that are simulated in virtual time, whatever state machine they run.
+//! Processes that are simulated in virtual time as a cluster for scenarios, whatever state machine they run.
+use crate::cluster::{Cluster, Entry, MemberTransition, SendRate};
 use crate::error::ActionError;
 use crate::network_conditions::NetworkConditions;
-use crate::scenario::{Act, DelayRange, Fronts, Power};
+use crate::scenario::{Action, DelayRange, Fronts, HostAction};
+use crate::seconds;
+use crankpaddle_membership::{LocalHealth, MemberState};
 use crankpaddle_time::Time;
+use std::ops::Add;
 use std::time::Duration;
 
 /// The usual transit time of a datagram.
@@ -11,11 +15,110 @@
     max: Duration::from_millis(2),
 };
 /// Datagrams that a paused process's socket buffers; further ones are dropped.
-pub const SOCKET_BACKLOG: usize = 200;
+const SOCKET_BACKLOG: usize = 200;
 /// When the virtual clock begins.
 pub const START_OF_TIME: Time = Time(100_000_000_000);
 
-/// Control over simulated processes.
+/// What a process sent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SentCounts {
+    /// Datagrams.
+    pub datagrams: u64,
+    /// Their bytes.
+    pub bytes: u64,
+}
+
+impl SentCounts {
+    fn rate_over(self, time: Duration) -> SendRate {
+        SendRate {
+            datagrams: self.datagrams as f64 / seconds(time),
+            bytes: self.bytes as f64 / seconds(time),
+        }
+    }
+}
+
+impl Add for SentCounts {
+    type Output = SentCounts;
+
+    fn add(self, other: SentCounts) -> SentCounts {
+        SentCounts {
+            datagrams: self.datagrams + other.datagrams,
+            bytes: self.bytes + other.bytes,
+        }
+    }
+}
+
+/// Whether a process runs, and the datagrams that its socket buffers while it is paused.
+#[derive(Clone, Debug)]
+pub struct ProcessState<D> {
+    is_running: bool,
+    is_paused: bool,
+    backlog: Vec<D>,
+}
+
+impl<D> ProcessState<D> {
+    /// A process that runs, or one that is not started yet.
+    #[must_use]
+    pub fn new(is_running: bool) -> ProcessState<D> {
+        ProcessState {
+            is_running,
+            is_paused: false,
+            backlog: Vec::new(),
+        }
+    }
+
+    /// Whether it was started and not killed, paused or not.
+    #[must_use]
+    pub fn is_running(&self) -> bool {
+        self.is_running
+    }
+
+    /// Whether it is paused.
+    #[must_use]
+    pub fn is_paused(&self) -> bool {
+        self.is_paused
+    }
+
+    /// Starts it.
+    pub fn start(&mut self) {
+        self.is_running = true;
+    }
+
+    /// Ends it without notice.
+    pub fn kill(&mut self) {
+        self.is_running = false;
+    }
+
+    /// Pauses it.
+    pub fn pause(&mut self) {
+        self.is_paused = true;
+    }
+
+    /// Resumes it; returns the datagrams that its socket buffered.
+    #[must_use]
+    pub fn resume(&mut self) -> Vec<D> {
+        self.is_paused = false;
+        std::mem::take(&mut self.backlog)
+    }
+
+    /// Returns an incoming datagram if the process handles it now. While the process is paused the datagram is buffered; if
+    /// the buffer is full, or the process does not run, the datagram is dropped.
+    #[must_use]
+    pub fn accept(&mut self, datagram: D) -> Option<D> {
+        if !self.is_running {
+            return None;
+        }
+        if !self.is_paused {
+            return Some(datagram);
+        }
+        if self.backlog.len() < SOCKET_BACKLOG {
+            self.backlog.push(datagram);
+        }
+        None
+    }
+}
+
+/// Control over simulated processes, and what can be seen of them. Each implementation is a [`Cluster`].
 pub trait SimulatedProcesses {
     /// How many processes there are, whether they run or not.
     fn count(&self) -> usize;
@@ -40,39 +143,93 @@
     ///
     /// # Errors
     /// There are no hosts here.
-    fn act_on_hosts(&mut self, power: &Power) -> Result<(), ActionError>;
+    fn act_on_hosts(&mut self, action: &HostAction) -> Result<(), ActionError>;
     /// Lets virtual time pass.
     fn advance(&mut self, time: Duration);
     /// The network between the processes.
     fn conditions(&mut self) -> &mut NetworkConditions;
+    /// The virtual clock.
+    fn clock(&self) -> Time;
+    /// The state that process `at` sees process `of` in; `None`: it does not know it.
+    fn member_state(&self, at: usize, of: usize) -> Option<MemberState>;
+    /// A process's own health; `None`: it does not estimate any.
+    fn own_health(&self, front: usize) -> Option<LocalHealth>;
+    /// The transitions from a time on, in order.
+    fn transitions_since(&self, from: Time) -> Vec<MemberTransition>;
+    /// The entry that was written last, as one process knows it; `None`: it does not.
+    fn last_entry(&self, at: usize) -> Option<Entry>;
+    /// What a process sent, its previous incarnations included.
+    fn sent_by(&self, front: usize) -> SentCounts;
+}
+
+impl<P: SimulatedProcesses> Cluster for P {
+    fn fronts(&self) -> usize {
+        self.count()
+    }
+
+    fn now(&self) -> Time {
+        self.clock()
+    }
+
+    fn run(&mut self, time: Duration) {
+        self.advance(time);
+    }
+
+    fn act(&mut self, action: &Action) -> Result<(), ActionError> {
+        carry_out(self, action)
+    }
+
+    fn state(&self, at: usize, of: usize) -> Option<MemberState> {
+        self.member_state(at, of)
+    }
+
+    fn local_health(&self, at: usize) -> Option<LocalHealth> {
+        self.own_health(at)
+    }
+
+    fn transitions(&self, from: Time) -> Vec<MemberTransition> {
+        self.transitions_since(from)
+    }
+
+    fn entry(&self, at: usize) -> Option<Entry> {
+        self.last_entry(at)
+    }
+
+    fn sent(&self) -> SendRate {
+        let elapsed = self.clock().duration_since(START_OF_TIME);
+        let elapsed = elapsed.max(Duration::from_nanos(1));
+        (0..self.count())
+            .map(|front| self.sent_by(front).rate_over(elapsed))
+            .fold(SendRate::default(), SendRate::max)
+    }
 }
 
 /// Carries out an action on simulated processes.
-///
-/// # Errors
-/// They can't carry it out.
-pub fn carry_out<P: SimulatedProcesses>(processes: &mut P, act: &Act) -> Result<(), ActionError> {
+fn carry_out<P: SimulatedProcesses>(processes: &mut P, action: &Action) -> Result<(), ActionError> {
     let count = processes.count();
-    match act {
-        Act::Start(fronts) => start(processes, fronts),
-        Act::Kill(fronts) => for_each(processes, fronts, P::kill),
-        Act::End(fronts) => for_each(processes, fronts, |processes, front| {
+    match action {
+        Action::Start(fronts) => start(processes, fronts),
+        Action::Kill(fronts) => for_each(processes, fronts, P::kill),
+        Action::ShutDown(fronts) => for_each(processes, fronts, |processes, front| {
             processes.leave(front);
             processes.kill(front);
         }),
-        Act::Stop(fronts) => for_each(processes, fronts, P::pause),
-        Act::GoOn(fronts) => for_each(processes, fronts, P::resume),
-        Act::Restart(fronts, after) => {
+        Action::Pause(fronts) => for_each(processes, fronts, P::pause),
+        Action::Resume(fronts) => for_each(processes, fronts, P::resume),
+        Action::Restart { fronts, after } => {
             for_each(processes, fronts, P::kill);
             processes.advance(*after);
             for_each(processes, fronts, P::restart);
         }
-        Act::Net { .. } | Act::Cut { .. } | Act::Heal | Act::Flood(..) => {
-            processes.conditions().act(act, count, USUAL_DELAY);
+        Action::SetNetwork { .. }
+        | Action::Partition { .. }
+        | Action::Heal
+        | Action::Flood { .. } => {
+            processes.conditions().act(action, count, USUAL_DELAY);
         }
-        Act::Runs(..) => {} // There is only one build in a simulation.
-        Act::Power(power) => processes.act_on_hosts(power)?,
-        Act::Write(front) => processes.write(*front)?,
+        Action::SelectBuild { .. } => {} // There is only one build in a simulation.
+        Action::Host(action) => processes.act_on_hosts(action)?,
+        Action::WriteEntry { front } => processes.write(*front)?,
     }
     Ok(())
 }
--- a/crates/fault-simulation/tests/claims.rs
+++ b/crates/fault-simulation/tests/claims.rs
@@ -1,6 +1,6 @@
 //! The checks of claims are tested: for each kind a cluster in which it holds, and the nearest one in which it does not.
 use crankpaddle_fault_simulation::{
-    parse, play, Act, ActionError, Cluster, Entry, MemberTransition, Rate, MS,
+    parse, play, Action, ActionError, Cluster, Entry, MemberTransition, SendRate, MS,
 };
 use crankpaddle_membership::{LocalHealth, MemberState};
 use crankpaddle_time::Time;
@@ -14,7 +14,7 @@
     transitions: Vec<MemberTransition>,
     health_changes: Vec<HealthChange>,
     entries: Vec<KnownEntry>,
-    acts: Vec<Act>,
+    actions: Vec<Action>,
 }
 
 impl Cluster for ScriptedCluster {
@@ -30,8 +30,8 @@
         self.now += time;
     }
 
-    fn act(&mut self, act: &Act) -> Result<(), ActionError> {
-        self.acts.push(act.clone());
+    fn act(&mut self, action: &Action) -> Result<(), ActionError> {
+        self.actions.push(action.clone());
         Ok(())
     }
 
@@ -70,8 +70,8 @@
         })
     }
 
-    fn sent(&self) -> Rate {
-        (0.0, 0.0)
+    fn sent(&self) -> SendRate {
+        SendRate::default()
     }
 }
 
@@ -271,10 +271,14 @@
     play(&case, &mut cluster).unwrap();
     assert!(
         matches!(
-            cluster.acts[..],
-            [Act::Kill(_), Act::Heal, Act::Flood(_, 3)]
+            cluster.actions[..],
+            [
+                Action::Kill(_),
+                Action::Heal,
+                Action::Flood { copies: 3, .. }
+            ]
         ),
         "{:?}",
-        cluster.acts
+        cluster.actions
     );
 }
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -29,8 +29,8 @@
 pub use cost::Cost;
 use crankpaddle_config::Config;
 use crankpaddle_fault_simulation::{
-    play, Act, ActionError, Case, CaseResult, Cluster, DelayRange, Entry, Fronts, MemberTransition,
-    Rate, RecoveryProgress,
+    play, Action, ActionError, Build, Case, CaseResult, Cluster, DelayRange, Entry, Fronts,
+    MemberTransition, RecoveryProgress, SendRate,
 };
 use crankpaddle_membership::{LocalHealth, MemberState};
 use crankpaddle_net::clock;
@@ -151,38 +151,43 @@
         std::thread::sleep(time);
     }
 
-    fn act(&mut self, act: &Act) -> Result<(), ActionError> {
+    fn act(&mut self, action: &Action) -> Result<(), ActionError> {
         let n = self.processes.len();
         let of = |fronts: &Fronts| fronts.of(n);
         let to_text = ActionError::Io;
-        match act {
-            Act::Start(fronts) => self.start(&of(fronts)).map_err(to_text)?,
-            Act::Kill(fronts) => self.kill(&of(fronts)).map_err(to_text)?,
-            Act::End(fronts) => {
+        match action {
+            Action::Start(fronts) => self.start(&of(fronts)).map_err(to_text)?,
+            Action::Kill(fronts) => self.kill(&of(fronts)).map_err(to_text)?,
+            Action::ShutDown(fronts) => {
                 let faults = self.end(&of(fronts)).map_err(to_text)?;
                 if !faults.is_empty() {
                     return Err(ActionError::Faults(faults));
                 }
             }
-            Act::Stop(fronts) => self.stop(&of(fronts), true),
-            Act::GoOn(fronts) => self.stop(&of(fronts), false),
-            Act::Restart(fronts, after) => {
+            Action::Pause(fronts) => self.stop(&of(fronts), true),
+            Action::Resume(fronts) => self.stop(&of(fronts), false),
+            Action::Restart { fronts, after } => {
                 let which = of(fronts);
                 self.kill(&which).map_err(to_text)?;
                 self.run(*after);
                 self.start(&which).map_err(to_text)?;
             }
-            Act::Net { .. } | Act::Cut { .. } | Act::Heal | Act::Flood(..) => {
-                let act = act.clone();
+            Action::SetNetwork { .. }
+            | Action::Partition { .. }
+            | Action::Heal
+            | Action::Flood { .. } => {
+                let action = action.clone();
                 self.mesh.change(move |net| {
-                    net.act(&act, n, DelayRange::NONE);
+                    net.act(&action, n, DelayRange::NONE);
                 });
             }
-            Act::Runs(fronts, other) => {
-                of(fronts).into_iter().for_each(|i| self.others[i] = *other);
+            Action::SelectBuild { fronts, build } => {
+                for front in of(fronts) {
+                    self.others[front] = *build == Build::Other;
+                }
             }
-            Act::Power(power) => self.power(power).map_err(to_text)?,
-            Act::Write(_) => {
+            Action::Host(action) => self.power(action).map_err(to_text)?,
+            Action::WriteEntry { .. } => {
                 let what = "no front writes on the board yet; play it with --virtual";
                 return Err(ActionError::Unsupported(what.to_owned()));
             }
@@ -222,15 +227,18 @@
         Some(Duration::from_nanos(time))
     }
 
-    fn sent(&self) -> Rate {
+    fn sent(&self) -> SendRate {
         let time = (clock::now().as_nanos() - self.began).max(1) as f64 / SECOND as f64;
         let rate = |i| {
             let sent = self.mesh.sent(i);
-            (sent.0 as f64 / time, sent.1 as f64 / time)
+            SendRate {
+                datagrams: sent.0 as f64 / time,
+                bytes: sent.1 as f64 / time,
+            }
         };
         (0..self.processes.len())
             .map(rate)
-            .fold((0.0, 0.0), |a: Rate, b: Rate| (a.0.max(b.0), a.1.max(b.1)))
+            .fold(SendRate::default(), SendRate::max)
     }
 }
 
--- a/crates/testbed/src/fleet/power.rs
+++ b/crates/testbed/src/fleet/power.rs
@@ -1,6 +1,6 @@
 //! Power losses of the hosts of fronts and servers.
 use super::Harness;
-use crankpaddle_fault_simulation::{Fronts, Power};
+use crankpaddle_fault_simulation::{Fronts, HostAction};
 use std::io;
 
 impl Harness<'_> {
@@ -15,14 +15,14 @@
     }
 
     /// Carries out a step of a power loss.
-    pub(super) fn power(&mut self, power: &Power) -> io::Result<()> {
+    pub(super) fn power(&mut self, action: &HostAction) -> io::Result<()> {
         let fronts = self.processes.len();
         let servers = self.stage.fleet.servers.len();
         let Some(hosts) = &mut self.hosts else {
             return Err(io::Error::other("the case has no hosts"));
         };
-        match power {
-            Power::Off {
+        match action {
+            HostAction::PowerOff {
                 fronts: of_fronts,
                 servers: of_servers,
                 list_service,
@@ -31,7 +31,7 @@
                 &of_servers.of(servers),
                 *list_service,
             ),
-            Power::On {
+            HostAction::PowerOn {
                 fronts: of_fronts,
                 servers: of_servers,
                 list_service,
@@ -40,9 +40,12 @@
                 &of_servers.of(servers),
                 *list_service,
             ),
-            Power::Copy(of_fronts) => hosts.copy(&of_fronts.of(fronts)),
-            Power::Disk(of_fronts, spoil) => hosts.spoil(&of_fronts.of(fronts), *spoil),
-            Power::LoseSessionInventories(of_servers) => {
+            HostAction::CopyDisks(of_fronts) => hosts.copy(&of_fronts.of(fronts)),
+            HostAction::SetDisks {
+                fronts: of_fronts,
+                state,
+            } => hosts.set_disks(&of_fronts.of(fronts), *state),
+            HostAction::LoseSessionInventories(of_servers) => {
                 self.lose_inventories(of_servers);
                 Ok(())
             }
--- a/crates/testbed/src/host_faults.rs
+++ b/crates/testbed/src/host_faults.rs
@@ -3,7 +3,7 @@
 use crate::server::Fleet;
 use crate::udp_proxy::write_key;
 use crankpaddle_config::Config;
-use crankpaddle_fault_simulation::Spoil;
+use crankpaddle_fault_simulation::DiskState;
 use crankpaddle_front::jitter;
 use crankpaddle_server_protocol::list::EndpointState;
 use std::fs;
@@ -137,17 +137,17 @@
     }
 
     /// Changes the fronts' disks to what is found after the power loss.
-    pub(crate) fn spoil(&self, fronts: &[usize], spoil: Spoil) -> io::Result<()> {
+    pub(crate) fn set_disks(&self, fronts: &[usize], state: DiskState) -> io::Result<()> {
         for front in fronts.iter().copied() {
             let store = self.store(front);
             if !store.exists() {
                 continue; // The front persists nothing.
             }
-            match spoil {
-                Spoil::Intact => {}
-                Spoil::Empty => fs::remove_dir_all(&store)?,
-                Spoil::Old => replace_dir(&self.copy_dir(front), &store)?,
-                Spoil::Torn => self.truncate_store(front)?,
+            match state {
+                DiskState::Intact => {}
+                DiskState::Empty => fs::remove_dir_all(&store)?,
+                DiskState::Outdated => replace_dir(&self.copy_dir(front), &store)?,
+                DiskState::Torn => self.truncate_store(front)?,
             }
         }
         Ok(())
