Membership, fault simulation: names and comments for newcomers, structs for pairs

Cause: some fields and comments were riddles (who, whoever, taken for), pairs had no names, and simulated_process.rs had two jobs.

Change: reported_by in Member and MemberChange, datagrams_per_second and bytes_per_second in the configuration; accusations are structs; a LinkFilter takes a Link; ProcessState has a module of its own; comments of both packages and of the daemon's membership modules have a subject and a verb. Log fields, JSON and metrics keep their names.

--- a/crates/daemon/src/membership_runner.rs
+++ b/crates/daemon/src/membership_runner.rs
@@ -26,9 +26,9 @@
 const COMMAND_BATCH: usize = 64;
 /// A socket that can't be read is tried again after this time.
 const READ_RETRY_INTERVAL: Duration = Duration::from_millis(20);
-/// Bytes of a datagram that are read; a longer one is not a peer's.
-const MOST_DATAGRAM: usize = 2048;
-/// The announcement that this front leaves may take this long.
+/// Bytes of a datagram that are read; a peer's is never longer.
+const MAX_DATAGRAM_BYTES: usize = 2048;
+/// Longest wait for the announcement that this front leaves.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(500);
 
 enum Command {
@@ -53,16 +53,16 @@
     pub(crate) fn leave(&self) {
         let (done, left) = std::sync::mpsc::channel();
         if self.0.send(Command::Leave { done }).is_ok() {
-            let _ = left.recv_timeout(LEAVE_TIMEOUT); // Else the peers find out by themselves, later.
+            let _ = left.recv_timeout(LEAVE_TIMEOUT); // After a timeout the peers detect it by their probes.
         }
     }
 }
 
-/// All that is needed to take part in the membership.
+/// The configuration, socket and command queue with which the membership is run.
 pub(crate) struct OpenedMembership {
     config: MembershipConfig,
     socket: Arc<UdpSocket>,
-    /// Addresses that go before those that peers state, by name.
+    /// Configured addresses of peers, by name; they take precedence over the announced ones.
     routes: HashMap<String, SocketAddr>,
     commands: Sender<Command>,
     inbox: Receiver<Command>,
@@ -119,15 +119,15 @@
         seeds: config.seeds.iter().map(SocketAddr::to_string).collect(),
         probe_interval,
         probe_timeout: probe_interval * 2 / 5,
-        datagrams: f64::from(config.datagrams),
-        bytes: config.bytes as f64,
+        datagrams_per_second: f64::from(config.datagrams),
+        bytes_per_second: config.bytes as f64,
         ..MembershipConfig::default()
     }
 }
 
 impl OpenedMembership {
-    /// Takes part. `on_fleet_size` is called with the number of known fronts, this one included, whenever it
-    /// changes.
+    /// Starts the coroutines. `on_fleet_size` is called with the number of known fronts, this one included,
+    /// whenever it changes.
     pub(crate) fn run(self, on_fleet_size: impl Fn(u32) + Send + 'static) {
         let reader_socket = self.socket.clone();
         let commands = self.commands;
@@ -149,7 +149,7 @@
 }
 
 fn read_datagrams(socket: &UdpSocket, commands: &Sender<Command>) {
-    let mut buffer = [0u8; MOST_DATAGRAM];
+    let mut buffer = [0u8; MAX_DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buffer) {
             Ok((length, from)) => {
@@ -158,8 +158,7 @@
                     return;
                 }
             }
-            // The error may be that of a peer that is not there, reported by the host's network; the socket
-            // is sound.
+            // The host's network may report that a peer can't be reached; the socket itself still works.
             Err(_) => crankpaddle_net::sleep(READ_RETRY_INTERVAL),
         }
     }
@@ -249,10 +248,10 @@
         self.report_fleet_size();
     }
 
-    fn send_datagram(&self, name: &str, stated_address: &str, bytes: &[u8]) {
+    fn send_datagram(&self, name: &str, announced_address: &str, bytes: &[u8]) {
         let route = self.routes.get(name).copied();
-        if let Some(address) = route.or_else(|| stated_address.parse().ok()) {
-            // What can't be sent at once is lost, as on any network.
+        if let Some(address) = route.or_else(|| announced_address.parse().ok()) {
+            // A datagram that can't be sent at once is dropped.
             let _ = self.socket.inner().send_to(bytes, address);
         }
     }
@@ -264,14 +263,14 @@
             MemberState::Alive | MemberState::Left => tracing::info!(
                 member = change.name,
                 ?state,
-                by = change.by,
+                by = change.reported_by,
                 restarted = change.restarted,
                 "member state changed"
             ),
             MemberState::Suspect | MemberState::Dead => tracing::warn!(
                 member = change.name,
                 ?state,
-                by = change.by,
+                by = change.reported_by,
                 "member state changed"
             ),
         }
--- a/crates/daemon/src/membership_status.rs
+++ b/crates/daemon/src/membership_status.rs
@@ -4,8 +4,8 @@
 use crankpaddle_time::Time;
 use std::collections::VecDeque;
 
-/// Changes that are reported at most.
-const MOST_CHANGES: usize = 256;
+/// The most changes that are kept.
+const MAX_CHANGES: usize = 256;
 
 struct RecordedChange {
     at: Time,
@@ -16,14 +16,14 @@
 #[derive(Default)]
 pub(crate) struct ChangeHistory {
     changes: VecDeque<RecordedChange>,
-    /// Changes so far, those included that were dropped.
+    /// Number of all changes so far, the dropped ones included.
     total: u64,
 }
 
 impl ChangeHistory {
     pub(crate) fn record(&mut self, now: Time, change: MemberChange) {
         self.total += 1;
-        if self.changes.len() == MOST_CHANGES {
+        if self.changes.len() == MAX_CHANGES {
             self.changes.pop_front();
         }
         self.changes.push_back(RecordedChange { at: now, change });
@@ -37,7 +37,7 @@
             ago_ms: now.duration_since(*at).as_millis() as u64,
             name: change.name.clone(),
             state: peer_state(change.state),
-            by: change.by.clone(),
+            by: change.reported_by.clone(),
             restarted: change.restarted,
         });
         described.collect()
@@ -75,7 +75,7 @@
         address: member.address,
         state: peer_state(member.state),
         since_ms: now.duration_since(member.since).as_millis() as u64,
-        by: member.by,
+        by: member.reported_by,
         rtt_us: member.rtt.map(|rtt| rtt.as_micros() as u64),
     }
 }
--- a/crates/fault-simulation/examples/foca.rs
+++ b/crates/fault-simulation/examples/foca.rs
@@ -155,8 +155,8 @@
         self.queue.schedule(self.now, join);
     }
 
-    /// Has a member do something, and carries out its outputs. What it rejects (datagrams of previous incarnations, or of
-    /// itself) is dropped.
+    /// Calls a member's state machine, and carries out its outputs. Datagrams that it rejects (of previous incarnations, or of
+    /// itself) are dropped.
     fn with_member<T>(
         &mut self,
         number: usize,
--- a/crates/fault-simulation/src/event_queue.rs
+++ b/crates/fault-simulation/src/event_queue.rs
@@ -3,7 +3,7 @@
 use std::cmp::{Ordering, Reverse};
 use std::collections::BinaryHeap;
 
-/// Events by time; those of one time in the order in which they were scheduled.
+/// Events ordered by time; events of the same time keep the order in which they were scheduled.
 pub struct EventQueue<E> {
     heap: BinaryHeap<Reverse<Scheduled<E>>>,
     scheduled: u64,
--- a/crates/fault-simulation/src/lib.rs
+++ b/crates/fault-simulation/src/lib.rs
@@ -7,6 +7,7 @@
 mod error;
 mod event_queue;
 mod network_conditions;
+mod process_state;
 mod runner;
 mod scenario;
 mod simulated_network;
@@ -16,18 +17,17 @@
 pub use error::{ActionError, FrontsError};
 pub use event_queue::EventQueue;
 pub use network_conditions::{Link, LinkFilter, NetworkConditions};
+pub use process_state::ProcessState;
 pub use runner::{play, CaseResult, ClaimResult};
 pub use scenario::{
     parse, Action, Bound, Build, Case, Claim, DelayRange, DiskState, Fronts, HostAction, Step,
     CASES,
 };
 pub use simulated_network::{
-    front_name, front_number, member_config, ChangeRecord, HealthRecord, SentDatagram,
+    front_name, front_number, member_config, Accusation, ChangeRecord, HealthRecord, SentDatagram,
     SimulatedNetwork, SimulatedNode,
 };
-pub use simulated_process::{
-    ProcessState, SentCounts, SimulatedProcesses, START_OF_TIME, USUAL_DELAY,
-};
+pub use simulated_process::{SentCounts, SimulatedProcesses, START_OF_TIME, USUAL_DELAY};
 
 use crankpaddle_time::nanoseconds;
 use std::time::Duration;
--- a/crates/fault-simulation/src/network_conditions.rs
+++ b/crates/fault-simulation/src/network_conditions.rs
@@ -12,8 +12,8 @@
 /// A datagram that would wait longer than this for a link with a bandwidth is dropped.
 const MAX_QUEUEING: Duration = Duration::from_secs(1);
 
-/// Whether a datagram from one front to another passes now.
-pub type LinkFilter = Box<dyn Fn(usize, usize) -> bool + Send>;
+/// Whether datagrams on a link pass now.
+pub type LinkFilter = Box<dyn Fn(Link) -> bool + Send>;
 
 /// One direction between two fronts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -34,7 +34,7 @@
     pub delay: DelayRange,
     /// Bytes a second from one front to another; infinite: no limit.
     pub bandwidth: f64,
-    /// Whether a datagram from one front to another passes now.
+    /// Whether datagrams on a link pass now.
     pub link_filter: LinkFilter,
     /// Copies that arrive of each datagram of a front; one of the others'.
     pub floods: HashMap<usize, u32>,
@@ -42,7 +42,7 @@
     busy_until: HashMap<Link, Time>, // Of links with a bandwidth.
 }
 
-/// Nothing passes from these fronts to those.
+/// A set of links on which nothing passes: from each of some fronts to each of others.
 #[derive(Clone)]
 struct Cut {
     from: Vec<bool>, // By the number of the front.
@@ -58,9 +58,9 @@
         }
     }
 
-    fn blocks(&self, from: usize, to: usize) -> bool {
+    fn blocks(&self, link: Link) -> bool {
         let has = |members: &[bool], front: usize| members.get(front).copied().unwrap_or(false);
-        has(&self.from, from) && has(&self.to, to)
+        has(&self.from, link.from) && has(&self.to, link.to)
     }
 }
 
@@ -73,7 +73,7 @@
             duplicated: 0.0,
             delay,
             bandwidth: f64::INFINITY,
-            link_filter: Box::new(|_, _| true),
+            link_filter: Box::new(|_| true),
             floods: HashMap::new(),
             cuts: Vec::new(),
             busy_until: HashMap::new(),
@@ -105,12 +105,11 @@
                     self.cuts.push(Cut::new(to, from, fleet));
                 }
                 let cuts = self.cuts.clone();
-                self.link_filter =
-                    Box::new(move |from, to| !cuts.iter().any(|cut| cut.blocks(from, to)));
+                self.link_filter = Box::new(move |link| !cuts.iter().any(|cut| cut.blocks(link)));
             }
             Action::Heal => {
                 self.cuts.clear();
-                self.link_filter = Box::new(|_, _| true);
+                self.link_filter = Box::new(|_| true);
             }
             Action::Flood { fronts, copies } => {
                 for front in fronts.of(fleet) {
@@ -130,7 +129,7 @@
         rng: &mut oorandom::Rand64,
     ) -> Vec<Time> {
         let mut arrivals = Vec::new();
-        if !(self.link_filter)(link.from, link.to) {
+        if !(self.link_filter)(link) {
             return arrivals;
         }
         let copies_sent = self.floods.get(&link.from).copied().unwrap_or(1);
--- a/crates/fault-simulation/src/network_conditions/tests.rs
+++ b/crates/fault-simulation/src/network_conditions/tests.rs
@@ -70,7 +70,7 @@
             .len(),
         1
     );
-    conditions.link_filter = Box::new(|from, _| from != 3);
+    conditions.link_filter = Box::new(|link| link.from != 3);
     assert!(conditions
         .arrivals(Time(0), Link { from: 3, to: 1 }, 1, &mut rng)
         .is_empty());
--- a/crates/fault-simulation/src/scenario/action.rs
+++ b/crates/fault-simulation/src/scenario/action.rs
@@ -6,7 +6,7 @@
 /// An action of a scenario. The names of a case's steps in `proto/case.proto` are older; the parser maps them.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Starts those that do not run, as new incarnations.
+    /// Starts those of them that do not run, as new incarnations.
     Start(Fronts),
     /// Kills them.
     Kill(Fronts),
--- a/crates/fault-simulation/src/scenario/fronts.rs
+++ b/crates/fault-simulation/src/scenario/fronts.rs
@@ -5,7 +5,7 @@
 /// A set of fronts, for a fleet of any size.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Fronts {
-    is_complement: bool, // All but those that are listed.
+    is_complement: bool, // All fronts except the listed ones.
     listed: Vec<Subset>,
 }
 
--- a/crates/fault-simulation/src/simulated_network.rs
+++ b/crates/fault-simulation/src/simulated_network.rs
@@ -4,13 +4,14 @@
 mod records;
 
 pub use member_config::{front_name, front_number, member_config};
-pub use records::{ChangeRecord, HealthRecord, SentDatagram};
+pub use records::{Accusation, ChangeRecord, HealthRecord, SentDatagram};
 
 use crate::cluster;
 use crate::event_queue::EventQueue;
 use crate::network_conditions::{Link, NetworkConditions};
+use crate::process_state::ProcessState;
 use crate::scenario::Case;
-use crate::simulated_process::{ProcessState, SentCounts, START_OF_TIME, USUAL_DELAY};
+use crate::simulated_process::{SentCounts, START_OF_TIME, USUAL_DELAY};
 use crankpaddle_membership::{MemberState, Membership, MembershipConfig, Output};
 use crankpaddle_time::Time;
 use std::collections::BTreeMap;
@@ -151,7 +152,7 @@
         number
     }
 
-    /// Has a member do something, and carries out its outputs.
+    /// Calls a member's state machine, and carries out its outputs.
     pub fn with_member<T>(
         &mut self,
         number: usize,
@@ -303,13 +304,16 @@
         None
     }
 
-    /// Members that were declared dead from a time on, each with the number of the member that saw it so.
+    /// The members' views that changed to dead from a time on, in order.
     #[must_use]
-    pub fn accusations(&self, from: Time) -> Vec<(usize, String)> {
+    pub fn accusations(&self, from: Time) -> Vec<Accusation> {
         self.changes
             .iter()
             .filter(|record| record.at >= from && record.change.state == MemberState::Dead)
-            .map(|record| (record.by, record.change.name.clone()))
+            .map(|record| Accusation {
+                by: record.by,
+                accused: record.change.name.clone(),
+            })
             .collect()
     }
 }
--- a/crates/fault-simulation/src/simulated_network/records.rs
+++ b/crates/fault-simulation/src/simulated_network/records.rs
@@ -34,3 +34,12 @@
     /// Its health now.
     pub health: LocalHealth,
 }
+
+/// A member declared another dead.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Accusation {
+    /// The number of the member that declared it.
+    pub by: usize,
+    /// The name of the member that was declared dead.
+    pub accused: String,
+}
--- a/crates/fault-simulation/tests/claims.rs
+++ b/crates/fault-simulation/tests/claims.rs
@@ -6,7 +6,7 @@
 use crankpaddle_time::Time;
 use std::time::Duration;
 
-/// A cluster whose history is given: who sees whom in which state from when on, and everything else likewise.
+/// A cluster whose history is given: from when on each front sees each other in which state, and everything else likewise.
 #[derive(Default)]
 struct ScriptedCluster {
     now: Time,
--- a/crates/membership/src/local_health.rs
+++ b/crates/membership/src/local_health.rs
@@ -50,7 +50,7 @@
         }
     }
 
-    /// Records a sign that this member is the slow one: a helper sent not even a nack, or it had to refute a suspicion.
+    /// Records a sign that this member is the slow one: a helper did not even send a nack, or this member had to refute.
     pub(crate) fn worsen(&mut self) {
         self.score = (self.score + 1).min(MAX_SCORE);
     }
--- a/crates/membership/src/member_state.rs
+++ b/crates/membership/src/member_state.rs
@@ -12,7 +12,7 @@
     Suspect,
     /// It did not refute the suspicion in time.
     Dead,
-    /// It left in order. This incarnation of it is over for good.
+    /// It left in order. No other state of this incarnation can follow.
     Left,
 }
 
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -40,9 +40,9 @@
 const FIRST_SYNC_WITHIN: Duration = Duration::from_secs(2);
 /// Rounds of gossip that announce a leave.
 const LEAVE_ROUNDS: usize = 3;
-/// For so many probe intervals after a stall this member's health is degraded.
+/// For this many probe intervals after a stall this member's health is degraded.
 const DEGRADED_INTERVALS_AFTER_STALL: u32 = 3;
-/// For so many probe intervals after a stall nobody is declared dead.
+/// For this many probe intervals after a stall no member is declared dead.
 const GRACE_INTERVALS_AFTER_STALL: u32 = 2;
 
 /// Whether a member still sends and receives.
@@ -118,7 +118,7 @@
             gossip_at: Time::MAX,
             sync_at,
             rejoin_at: now,
-            budget: SendBudget::new(config.datagrams, config.bytes, now),
+            budget: SendBudget::new(config.datagrams_per_second, config.bytes_per_second, now),
             counters: Counters::default(),
             config,
             rng,
@@ -192,8 +192,8 @@
         self.members.state(name)
     }
 
-    /// Other members that may still act: all that are known but those that left. A dead member may only be out of reach; it
-    /// counts until it is removed.
+    /// The number of other members that may be running: all known ones except those that left. A dead member may only be
+    /// unreachable; it counts until it is removed.
     #[must_use]
     pub fn estimated_fleet_size(&self) -> u32 {
         (self.members.active() + self.members.dead()) as u32
@@ -235,8 +235,8 @@
 
     /// Detects that this process was stalled: a timer is late by more than half a probe interval.
     ///
-    /// Why: a process that was stopped, or got no processor time, finds all its timers due at once. It would declare members
-    /// dead that had no chance to be received.
+    /// Why: after a process was stopped, or got no processor time, all its timers are due at once. It would declare members dead
+    /// whose answers it had no chance to receive.
     fn detect_stall(&mut self, now: Time) {
         let due = self.next_expiry();
         let interval = self.config.probe_interval;
--- a/crates/membership/src/membership/config.rs
+++ b/crates/membership/src/membership/config.rs
@@ -23,9 +23,9 @@
     /// Members asked to probe on this member's behalf.
     pub indirect_probes: usize,
     /// The most datagrams sent in a second.
-    pub datagrams: f64,
+    pub datagrams_per_second: f64,
     /// The most bytes sent in a second.
-    pub bytes: f64,
+    pub bytes_per_second: f64,
 }
 
 impl Default for MembershipConfig {
@@ -40,8 +40,8 @@
             probe_interval: Duration::from_secs(1),
             probe_timeout: Duration::from_millis(400),
             indirect_probes: 3,
-            datagrams: 60.0,
-            bytes: 30_000.0,
+            datagrams_per_second: 60.0,
+            bytes_per_second: 30_000.0,
         }
     }
 }
--- a/crates/membership/src/membership/member_table.rs
+++ b/crates/membership/src/membership/member_table.rs
@@ -165,7 +165,7 @@
             address: self.address.clone(),
             state: self.version.state,
             since: self.since,
-            by: self.reported_by.clone(),
+            reported_by: self.reported_by.clone(),
             rtt: self.rtt,
         }
     }
--- a/crates/membership/src/membership/member_updates.rs
+++ b/crates/membership/src/membership/member_updates.rs
@@ -24,7 +24,7 @@
             }
             Some(known) if update.version == known => self.confirm_suspicion(now, update),
             Some(_) => {}
-            // A member that is dead or left and was never known is not worth a record.
+            // No record is kept of a member that is dead or left and was never known.
             None if update.version.state.is_active() => {
                 self.store_member_update(now, update, None, out);
             }
@@ -62,7 +62,7 @@
             out.push(Output::MemberChanged(MemberChange {
                 name: update.name.clone(),
                 state,
-                by: update.reported_by.clone(),
+                reported_by: update.reported_by.clone(),
                 restarted,
             }));
         }
@@ -109,7 +109,7 @@
         let is_isolated = self.local_health_monitor.is_isolated(now);
         for name in self.members.overdue_suspects(now) {
             if is_isolated {
-                // An isolated member cannot know who refuted.
+                // An isolated member does not receive refutations.
                 self.postpone_suspicion(&name);
                 continue;
             }
--- a/crates/membership/src/membership/output.rs
+++ b/crates/membership/src/membership/output.rs
@@ -29,8 +29,8 @@
     pub name: String,
     /// Its state now.
     pub state: MemberState,
-    /// Who reported it: a member's name, this member's own where it found out itself.
-    pub by: String,
+    /// The name of the member that found the change; this member's own name where it did itself.
+    pub reported_by: String,
     /// Whether it is another incarnation than before.
     pub restarted: bool,
 }
@@ -46,8 +46,8 @@
     pub state: MemberState,
     /// When it entered this state, by this member's clock.
     pub since: Time,
-    /// Who reported the state.
-    pub by: String,
+    /// The name of the member that found it in this state.
+    pub reported_by: String,
     /// The round-trip time of its last acknowledged probe.
     pub rtt: Option<Duration>,
 }
--- a/crates/membership/src/membership/own_identity.rs
+++ b/crates/membership/src/membership/own_identity.rs
@@ -5,13 +5,13 @@
 use crankpaddle_time::Time;
 use std::time::Duration;
 
-/// Right after the start, another process under this member's name is taken for its previous incarnation.
+/// For this long after the start, another process under this member's name is assumed to be its previous incarnation.
 const STARTUP_PERIOD: Duration = Duration::from_secs(10);
 /// Conflicts over the name after which the other process keeps it ...
 const MAX_CONFLICTS: u32 = 2;
 /// ... if they happen within this time.
 const CONFLICT_WINDOW: Duration = Duration::from_secs(60);
-/// A count of refutations or writes that no honest process comes near.
+/// Counts of refutations or writes from here on are taken for forged: no process reaches them.
 pub(super) const IMPLAUSIBLE_COUNT: u32 = u32::MAX / 2;
 
 /// Conflicts over this member's name that it lost, within a window of time.
@@ -77,8 +77,8 @@
     ///
     /// Right after a start it is the previous incarnation, on a clock that was ahead: the epoch is raised above it. Why not
     /// always: two processes that are configured under one name would raise theirs in turn for ever. The one that has run for
-    /// longer gives way, and reports that. A malicious peer that keeps forging conflicts can thereby silence a front's gossip;
-    /// the front's own limits do not depend on it.
+    /// longer gives up the name, and reports that. A malicious peer that keeps forging conflicts can thereby silence a front's
+    /// gossip; the front's own limits do not depend on it.
     pub(super) fn handle_name_conflict(
         &mut self,
         now: Time,
--- a/crates/membership/src/membership/probe.rs
+++ b/crates/membership/src/membership/probe.rs
@@ -147,8 +147,8 @@
         if probe.is_acknowledged() {
             return;
         }
-        // Why: a front whose own link is bad would suspect everybody. Helpers that send not even a nack show that it is this
-        // front that can't be reached.
+        // Why: a front whose own link is bad would suspect all others. If the helpers did not even send a nack, it is this front
+        // that can't be reached.
         if probe.nacks < probe.helpers {
             self.local_health_monitor.worsen();
         }
--- a/crates/membership/src/membership/receive.rs
+++ b/crates/membership/src/membership/receive.rs
@@ -1,4 +1,4 @@
-//! Received datagrams: which of them count, and how they are answered.
+//! Received datagrams: which of them are accepted, and how they are answered.
 use super::dissemination::{Destination, Message, ANSWER_RESERVE};
 use super::gossip_queue::GossipItem;
 use super::{Membership, Output};
@@ -150,7 +150,7 @@
         sequence: u32,
         out: &mut Vec<Output>,
     ) {
-        // A sender that is not taken for alive is sent its state, so that it refutes.
+        // A sender that is not known as alive is sent its state, so that it refutes it.
         let items: Vec<GossipItem> = match self.members.state(sender.name) {
             None | Some(MemberState::Alive) => Vec::new(),
             Some(_) => vec![GossipItem::Member(sender.name.to_owned())],
--- a/crates/membership/src/membership/rejoin.rs
+++ b/crates/membership/src/membership/rejoin.rs
@@ -1,4 +1,4 @@
-//! Rejoining: dead members and seeds are probed from time to time, and members that are over for long are removed.
+//! Rejoining: dead members and seeds are probed from time to time, and members that have been dead or left for long are removed.
 use super::dissemination::{Destination, Message, GOSSIP_RESERVE};
 use super::gossip_queue::GossipItem;
 use super::{Membership, Output};
@@ -15,8 +15,8 @@
 impl Membership {
     /// Probes one dead member and one seed that is not an active member.
     ///
-    /// Why: after a partition each side takes the other for dead, and nobody would ever probe it again. The ping carries the
-    /// state that the other is taken for, and it refutes.
+    /// Why: after a partition each side has declared the other dead, and would never probe it again. The ping carries the state
+    /// that is known of the receiver, so that the receiver refutes it.
     pub(super) fn rejoin(&mut self, now: Time, out: &mut Vec<Output>) {
         self.rejoin_at = now + REJOIN_INTERVAL;
         self.remove_expired(now);
--- a/crates/membership/src/membership/tests.rs
+++ b/crates/membership/src/membership/tests.rs
@@ -111,7 +111,7 @@
         })
     }
 
-    /// All running members gossip to each other until nothing changes; then each must take each for alive.
+    /// All running members gossip to each other until nothing changes; then each must see each as alive.
     fn agrees_once_healed(&self) -> bool {
         let mut fleet = self.clone();
         fleet.network.clear();
@@ -293,7 +293,7 @@
             Property::always(
                 "a member that left does not come back from delayed gossip",
                 |_, fleet: &Fleet| {
-                    // Nobody may know a later version of a stopped member's incarnation than it had itself.
+                    // No member may know a later version of a stopped member's incarnation than that member had itself.
                     let views = fleet.views();
                     (0..MEMBERS).filter(|j| !fleet.running[*j]).all(|j| {
                         let own = views[j][j];
--- a/crates/membership/src/suspicion.rs
+++ b/crates/membership/src/suspicion.rs
@@ -10,7 +10,7 @@
 /// The shortest timeout is this multiple of the probe interval, times the logarithm of the fleet's size (Lifeguard's `alpha`).
 const MIN_TIMEOUT_MULTIPLIER: f64 = 4.0;
 
-/// Who suspects a member, and until when it may refute.
+/// The suspicion of one member: which others suspect it, and until when it may refute.
 #[derive(Clone, Debug)]
 pub(crate) struct Suspicion {
     since: Time,
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -39,7 +39,7 @@
     pub from: String,
     pub address: String,
     pub version: MemberVersion,
-    pub to: String, // Empty: whoever receives it.
+    pub to: String, // Empty where the receiver's name is not known yet.
 }
 
 /// What is known of a member.
@@ -48,7 +48,7 @@
     pub name: String,
     pub address: String,
     pub version: MemberVersion,
-    /// Who found the member in this state. Why not the sender: a member that only forwards a suspicion would count as another
+    /// The member that found it in this state. Why not the sender: a member that only forwards a suspicion would count as another
     /// accuser.
     pub reported_by: String,
 }
--- a/crates/membership/tests/fleet.rs
+++ b/crates/membership/tests/fleet.rs
@@ -59,7 +59,7 @@
         let wrong: Vec<_> = network
             .accusations(from)
             .into_iter()
-            .filter(|(_, n)| living.iter().any(|l| front_name(*l) == *n))
+            .filter(|accusation| living.iter().any(|l| front_name(*l) == accusation.accused))
             .collect();
         assert!(wrong.is_empty(), "seed {seed}: {wrong:?}");
     }
@@ -104,7 +104,7 @@
         let by_them: Vec<_> = network
             .accusations(back)
             .into_iter()
-            .filter(|(by, _)| *by < 5)
+            .filter(|accusation| accusation.by < 5)
             .collect();
         assert!(by_them.is_empty(), "seed {seed}: {by_them:?}");
         assert!(network.health_changes.iter().any(|record| record.at >= back
@@ -117,11 +117,11 @@
 fn two_partitions_heal_without_an_operator() {
     for seed in 1..4 {
         let mut network = joined(40, seed);
-        network.conditions.link_filter = Box::new(|a, b| (a < 20) == (b < 20));
+        network.conditions.link_filter = Box::new(|link| (link.from < 20) == (link.to < 20));
         network.run(10 * SECOND);
-        network.conditions.link_filter = Box::new(|a, b| a % 2 == b % 2);
+        network.conditions.link_filter = Box::new(|link| link.from % 2 == link.to % 2);
         network.run(10 * SECOND);
-        network.conditions.link_filter = Box::new(|_, _| true);
+        network.conditions.link_filter = Box::new(|_| true);
         let took = network.advance_until(60 * SECOND, |network| {
             network.all_see(&all(40), &all(40), MemberState::Alive)
         });
@@ -139,11 +139,11 @@
     }
 }
 
-/// Held for long enough that each side takes the other for gone.
+/// The partition lasts long enough that the others declare the front dead.
 #[test]
 fn a_long_partition_heals_too_and_an_isolated_front_accuses_nobody() {
     let mut network = joined(20, 3);
-    network.conditions.link_filter = Box::new(|a, b| (a == 0) == (b == 0));
+    network.conditions.link_filter = Box::new(|link| (link.from == 0) == (link.to == 0));
     let from = network.now;
     let others: Vec<usize> = (1..20).collect();
     let took = network.advance_until(90 * SECOND, |network| {
@@ -152,8 +152,11 @@
     assert!(took.is_some(), "the others see that it is gone");
     network.run(30 * SECOND);
     assert!(
-        network.accusations(from).iter().all(|(by, _)| *by != 0),
-        "who hears nobody accuses nobody"
+        network
+            .accusations(from)
+            .iter()
+            .all(|accusation| accusation.by != 0),
+        "an isolated front accuses no other"
     );
     assert_eq!(
         network.nodes[0].membership.local_health(),
@@ -165,7 +168,7 @@
             .filter(|record| record.node == 0)
             .collect::<Vec<_>>()
     );
-    network.conditions.link_filter = Box::new(|_, _| true);
+    network.conditions.link_filter = Box::new(|_| true);
     let took = network.advance_until(60 * SECOND, |network| {
         network.all_see(&all(20), &all(20), MemberState::Alive)
     });
@@ -182,20 +185,20 @@
 fn a_one_way_cut_and_a_front_that_no_other_receives_cause_no_false_accusations() {
     let mut network = joined(20, 5);
     let from = network.now;
-    network.conditions.link_filter = Box::new(|a, b| !(a == 1 && b == 2)); // One direction of one pair.
+    network.conditions.link_filter = Box::new(|link| !(link.from == 1 && link.to == 2)); // One direction of one pair.
     network.run(60 * SECOND);
     assert!(
         network.accusations(from).is_empty(),
         "helpers reach it: {:?}",
         network.accusations(from)
     );
-    network.conditions.link_filter = Box::new(|a, _| a != 3); // It hears all and is heard by none.
+    network.conditions.link_filter = Box::new(|link| link.from != 3); // It receives from all; none receives from it.
     network.run(60 * SECOND);
     assert!(network.all_see(&[0, 1, 2, 4, 5], &[3], MemberState::Dead));
     let wrong: Vec<_> = network
         .accusations(from)
         .into_iter()
-        .filter(|(by, n)| *by == 3 || *n != front_name(3))
+        .filter(|accusation| accusation.by == 3 || accusation.accused != front_name(3))
         .collect();
     assert!(wrong.is_empty(), "{wrong:?}");
     assert_eq!(
@@ -340,7 +343,7 @@
             .expect("it spreads");
         assert!(took <= bound, "{n} at {loss}: {took:?}");
         let took = network.advance_until(60 * SECOND, |network| (1..n).all(|i| holds(network, i)));
-        assert!(took.is_some(), "digests mend what gossip missed");
+        assert!(took.is_some(), "digests deliver what gossip missed");
         let real = network.now.duration_since(wrote);
         for i in 1..n {
             let entry = network.nodes[i]
@@ -356,6 +359,16 @@
     }
 }
 
+/// The bytes of the captured datagrams that a front sent.
+fn captured_from(network: &SimulatedNetwork, front: usize) -> Vec<Vec<u8>> {
+    network
+        .captured
+        .iter()
+        .filter(|datagram| datagram.from == front)
+        .map(|datagram| datagram.bytes.clone())
+        .collect()
+}
+
 #[test]
 fn forged_entries_are_overwritten_by_their_owner() {
     let mut network = joined(10, 12);
@@ -363,37 +376,28 @@
         .with_member(0, |member, now, _| member.write(now, 1, b"true".to_vec()))
         .unwrap();
     network.run(5 * SECOND);
-    // A liar with the key: it runs as front 0, whose life it knows, and writes much.
+    // A malicious process with the key: it runs as front 0, whose incarnation it knows, and writes often.
     let me = network.nodes[0].membership.own_version();
-    let mut liar = SimulatedNetwork::new(1);
-    liar.is_capturing = true;
-    liar.start(MembershipConfig {
+    let mut forger = SimulatedNetwork::new(1);
+    forger.is_capturing = true;
+    forger.start(MembershipConfig {
         epoch: me.epoch,
         incarnation: me.incarnation,
         ..member_config(0, &[])
     });
-    liar.start(member_config(1, &[0]));
-    liar.run(2 * SECOND);
-    liar.captured.clear();
+    forger.start(member_config(1, &[0]));
+    forger.run(2 * SECOND);
+    forger.captured.clear();
     for i in 0..50u8 {
-        liar.with_member(0, |member, now, _| member.write(now, 1, vec![i]))
+        forger
+            .with_member(0, |member, now, _| member.write(now, 1, vec![i]))
             .unwrap();
     }
-    liar.run(2 * SECOND);
-    let lies: Vec<_> = liar
-        .captured
-        .iter()
-        .filter(|datagram| datagram.from == 1)
-        .map(|datagram| datagram.bytes.clone())
-        .collect();
-    let lies_of_zero: Vec<_> = liar
-        .captured
-        .iter()
-        .filter(|datagram| datagram.from == 0)
-        .map(|datagram| datagram.bytes.clone())
-        .collect();
-    assert!(!lies_of_zero.is_empty());
-    for bytes in lies.into_iter().chain(lies_of_zero) {
+    forger.run(2 * SECOND);
+    let forged = captured_from(&forger, 1);
+    let forged_by_zero = captured_from(&forger, 0);
+    assert!(!forged_by_zero.is_empty());
+    for bytes in forged.into_iter().chain(forged_by_zero) {
         for to in 1..10 {
             network.transmit(SentDatagram {
                 from: 1,
@@ -413,11 +417,11 @@
     };
     assert!(
         network.advance_until(30 * SECOND, right).is_some(),
-        "the owner's word comes through"
+        "the owner's entry prevails"
     );
     assert!(
         network.nodes[0].membership.counters().forged > 0,
-        "the lie reached somebody"
+        "the forged entry reached its owner"
     );
 }
 
--- a/crates/membership/tests/wire_bytes.rs
+++ b/crates/membership/tests/wire_bytes.rs
@@ -161,7 +161,10 @@
     let (reader, answers) = reader(bytes);
     let mut text = String::new();
     for m in reader.members() {
-        text += &format!("{} {} {} by {}; ", m.name, m.address, m.state as u8, m.by);
+        text += &format!(
+            "{} {} {} by {}; ",
+            m.name, m.address, m.state as u8, m.reported_by
+        );
     }
     for (owner, key) in [("b", 7), ("c", 200)] {
         if let Some(entry) = reader.entry(Time(0), owner, key) {
