Fault simulation: viewer and viewed in views and claims, EntryAge, a shorter step

Cause: `at` was a point in time in one place and the viewing front in the next, `Entry` was an age and also the name of membership's entry, and one function of the parser was longer than a screen.

Change: MemberTransition, Claim and Cluster say viewer and viewed; Claim::Accused says accusers, except, allowed and allowed_per_front; Cluster::entry is entry_age and returns an EntryAge; the parser reads the choice of a build in a function of its own. The names in case.proto stay. testbed changed only in the fields' names.

--- a/crates/fault-simulation/examples/foca.rs
+++ b/crates/fault-simulation/examples/foca.rs
@@ -3,7 +3,7 @@
 //! network, but members that are down are announced to every 2 s as ours are (65 s there). It has no local health, no gossip
 //! state and no state for members that left; claims on these don't hold for that reason alone.
 use crankpaddle_fault_simulation::{
-    front_name, parse, play, ActionError, Case, Entry, EventQueue, HostAction, Link,
+    front_name, parse, play, ActionError, Case, EntryAge, EventQueue, HostAction, Link,
     MemberTransition, NetworkConditions, ProcessState, SentCounts, SimulatedProcesses, CASES,
     START_OF_TIME, USUAL_DELAY,
 };
@@ -194,7 +194,7 @@
         }
     }
 
-    fn record_transition(&mut self, by: usize, notification: OwnedNotification<Id>) {
+    fn record_transition(&mut self, viewer: usize, notification: OwnedNotification<Id>) {
         let (id, state) = match notification {
             OwnedNotification::MemberUp(id) | OwnedNotification::Rename(_, id) => {
                 (id, MemberState::Alive)
@@ -202,16 +202,16 @@
             OwnedNotification::MemberDown(id) => (id, MemberState::Dead),
             _ => return,
         };
-        let of = id.number as usize;
+        let viewed = id.number as usize;
         let view = View {
             state,
             incarnation: id.incarnation,
         };
-        let before = self.nodes[by].views[of].replace(view);
+        let before = self.nodes[viewer].views[viewed].replace(view);
         self.transitions.push(MemberTransition {
             at: self.now,
-            by,
-            of,
+            viewer,
+            viewed,
             state,
             restarted: before.is_some_and(|before| before.incarnation != id.incarnation),
         });
@@ -347,8 +347,8 @@
         self.now
     }
 
-    fn member_state(&self, at: usize, of: usize) -> Option<MemberState> {
-        self.nodes[at].views[of].map(|view| view.state)
+    fn member_state(&self, viewer: usize, viewed: usize) -> Option<MemberState> {
+        self.nodes[viewer].views[viewed].map(|view| view.state)
     }
 
     fn own_health(&self, _: usize) -> Option<LocalHealth> {
@@ -362,7 +362,7 @@
         self.transitions[first..].to_vec()
     }
 
-    fn last_entry(&self, _: usize) -> Option<Entry> {
+    fn last_entry_age(&self, _: usize) -> Option<EntryAge> {
         None
     }
 
--- a/crates/fault-simulation/src/cluster.rs
+++ b/crates/fault-simulation/src/cluster.rs
@@ -11,9 +11,9 @@
     /// When, by the cluster's clock.
     pub at: Time,
     /// The front whose view it is.
-    pub by: usize,
+    pub viewer: usize,
     /// The front that is viewed.
-    pub of: usize,
+    pub viewed: usize,
     /// The state that it is seen in now.
     pub state: MemberState,
     /// Whether it is another incarnation than before.
@@ -51,13 +51,13 @@
     pub lost: u64,
 }
 
-/// The age of an entry.
+/// The age of an entry, by two clocks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Entry {
+pub struct EntryAge {
     /// As the reading front computes it.
-    pub reported_age: Duration,
+    pub reported: Duration,
     /// By the cluster's clock.
-    pub actual_age: Duration,
+    pub actual: Duration,
 }
 
 /// A fleet of fronts and the network between them.
@@ -73,14 +73,14 @@
     /// # Errors
     /// This cluster can't carry it out.
     fn act(&mut self, action: &Action) -> Result<(), ActionError>;
-    /// The state that front `at` sees front `of` in; `None`: it does not know it, or was not asked yet.
-    fn state(&self, at: usize, of: usize) -> Option<MemberState>;
+    /// The state that one front sees another in; `None`: it does not know it, or was not asked yet.
+    fn state(&self, viewer: usize, viewed: usize) -> Option<MemberState>;
     /// A front's own health.
-    fn local_health(&self, at: usize) -> Option<LocalHealth>;
+    fn local_health(&self, front: usize) -> Option<LocalHealth>;
     /// The transitions from a time on, in order.
     fn transitions(&self, from: Time) -> Vec<MemberTransition>;
-    /// The entry that was written last, as one front knows it; `None`: it does not.
-    fn entry(&self, at: usize) -> Option<Entry>;
+    /// The age of the entry that was written last, as one front knows it; `None`: it does not.
+    fn entry_age(&self, reader: usize) -> Option<EntryAge>;
     /// The highest rate of one front, averaged over the complete run.
     fn sent(&self) -> SendRate;
     /// Sessions lost when the power failed (of paid classes, or of all). `None`: there are no sessions here.
@@ -93,15 +93,16 @@
     }
 }
 
-/// Whether each of `at` sees each of `of` (but itself) in this state.
+/// Whether each viewer sees each viewed front (except itself) in this state.
 pub fn all_see<C: Cluster + ?Sized>(
     cluster: &C,
-    at: &[usize],
-    of: &[usize],
+    viewers: &[usize],
+    viewed: &[usize],
     state: MemberState,
 ) -> bool {
-    at.iter().all(|viewer| {
-        of.iter()
-            .all(|viewed| viewer == viewed || cluster.state(*viewer, *viewed) == Some(state))
+    viewers.iter().all(|viewer| {
+        viewed
+            .iter()
+            .all(|front| viewer == front || cluster.state(*viewer, *front) == Some(state))
     })
 }
--- a/crates/fault-simulation/src/lib.rs
+++ b/crates/fault-simulation/src/lib.rs
@@ -13,7 +13,7 @@
 mod simulated_network;
 mod simulated_process;
 
-pub use cluster::{all_see, Cluster, Entry, MemberTransition, RecoveryProgress, SendRate};
+pub use cluster::{all_see, Cluster, EntryAge, MemberTransition, RecoveryProgress, SendRate};
 pub use error::{ActionError, FrontsError};
 pub use event_queue::EventQueue;
 pub use network_conditions::{Link, LinkFilter, NetworkConditions};
--- a/crates/fault-simulation/src/runner/checks.rs
+++ b/crates/fault-simulation/src/runner/checks.rs
@@ -30,19 +30,27 @@
     };
     match claim {
         Claim::See {
-            at,
-            of,
+            viewers,
+            viewed,
             state,
             bound,
-        } => check.see(at, of, *state, *bound),
+        } => check.see(viewers, viewed, *state, *bound),
         Claim::Accused {
-            by,
-            but,
-            most,
-            per_front,
-        } => check.accused(by, but, *most, *per_front),
-        Claim::LocalHealth { at, health, bound } => check.local_health(at, *health, *bound),
-        Claim::Restarted { at, of, bound } => check.restarted(at, of, *bound),
+            accusers,
+            except,
+            allowed,
+            allowed_per_front,
+        } => check.accused(accusers, except, *allowed, *allowed_per_front),
+        Claim::LocalHealth {
+            fronts,
+            health,
+            bound,
+        } => check.local_health(fronts, *health, *bound),
+        Claim::Restarted {
+            viewers,
+            restarted,
+            bound,
+        } => check.restarted(viewers, restarted, *bound),
         Claim::Recovered { paid, part, bound } => check.recovered(*paid, *part, *bound),
         Claim::EntryKnown {
             part,
@@ -60,12 +68,21 @@
 }
 
 impl<C: Cluster + ?Sized> Check<'_, C> {
-    fn see(&mut self, at: &Fronts, of: &Fronts, state: MemberState, bound: Bound) -> ClaimResult {
-        let (at, of) = (at.of(self.fleet), of.of(self.fleet));
+    fn see(
+        &mut self,
+        viewers: &Fronts,
+        viewed: &Fronts,
+        state: MemberState,
+        bound: Bound,
+    ) -> ClaimResult {
+        let viewers = viewers.of(self.fleet);
+        let viewed = viewed.of(self.fleet);
         let from = self.cluster.now();
-        let took = self.wait_until(bound, |cluster| all_see(cluster, &at, &of, state));
+        let took = self.wait_until(bound, |cluster| all_see(cluster, &viewers, &viewed, state));
         let counts = |transition: &MemberTransition| {
-            transition.state == state && at.contains(&transition.by) && of.contains(&transition.of)
+            transition.state == state
+                && viewers.contains(&transition.viewer)
+                && viewed.contains(&transition.viewed)
         };
         let median = if state == MemberState::Alive {
             String::new()
@@ -75,15 +92,21 @@
         self.timed_result(bound, took, &median)
     }
 
-    fn accused(&self, by: &Fronts, but: &Fronts, most: u32, per_front: f64) -> ClaimResult {
+    fn accused(
+        &self,
+        accusers: &Fronts,
+        except: &Fronts,
+        allowed: u32,
+        allowed_per_front: f64,
+    ) -> ClaimResult {
         let is_false_accusation = |transition: &&MemberTransition| {
             transition.state == MemberState::Dead
-                && by.has(transition.by, self.fleet)
-                && !but.has(transition.of, self.fleet)
+                && accusers.has(transition.viewer, self.fleet)
+                && !except.has(transition.viewed, self.fleet)
         };
         let transitions = self.cluster.transitions(self.mark);
         let count = transitions.iter().filter(is_false_accusation).count();
-        let allowed = f64::from(most) + per_front * self.fleet as f64;
+        let allowed = f64::from(allowed) + allowed_per_front * self.fleet as f64;
         ClaimResult {
             claim: self.name.to_owned(),
             measured: format!("{count} accusations"),
@@ -91,27 +114,32 @@
         }
     }
 
-    fn local_health(&mut self, at: &Fronts, health: LocalHealth, bound: Bound) -> ClaimResult {
-        let at = at.of(self.fleet);
+    fn local_health(&mut self, fronts: &Fronts, health: LocalHealth, bound: Bound) -> ClaimResult {
+        let fronts = fronts.of(self.fleet);
         let took = self.wait_until(bound, |cluster| {
-            at.iter()
+            fronts
+                .iter()
                 .all(|front| cluster.local_health(*front) == Some(health))
         });
         self.timed_result(bound, took, "")
     }
 
-    fn restarted(&mut self, at: &Fronts, of: &Fronts, bound: Bound) -> ClaimResult {
-        let (at, of) = (at.of(self.fleet), of.of(self.fleet));
+    fn restarted(&mut self, viewers: &Fronts, restarted: &Fronts, bound: Bound) -> ClaimResult {
+        let viewers = viewers.of(self.fleet);
+        let restarted = restarted.of(self.fleet);
         let mark = self.mark;
         let took = self.wait_until(bound, |cluster| {
             let seen: BTreeSet<(usize, usize)> = cluster
                 .transitions(mark)
                 .iter()
                 .filter(|transition| transition.restarted)
-                .map(|transition| (transition.by, transition.of))
+                .map(|transition| (transition.viewer, transition.viewed))
                 .collect();
-            at.iter()
-                .all(|by| of.iter().all(|of| seen.contains(&(*by, *of))))
+            viewers.iter().all(|viewer| {
+                restarted
+                    .iter()
+                    .all(|restarted| seen.contains(&(*viewer, *restarted)))
+            })
         });
         self.timed_result(bound, took, "")
     }
@@ -142,13 +170,13 @@
         // The first front is the one that writes.
         let took = self.wait_until(bound, |cluster| {
             let knowing = (1..fleet)
-                .filter(|front| cluster.entry(*front).is_some())
+                .filter(|front| cluster.entry_age(*front).is_some())
                 .count();
             knowing as f64 >= part * (fleet - 1) as f64
         });
         let age_error = (1..fleet)
-            .filter_map(|front| self.cluster.entry(front))
-            .map(|entry| entry.reported_age.abs_diff(entry.actual_age))
+            .filter_map(|front| self.cluster.entry_age(front))
+            .map(|age| age.reported.abs_diff(age.actual))
             .max()
             .unwrap_or(UNKNOWN_AGE_ERROR);
         let detail = format!(", ages off by {} ms at most", age_error.as_millis());
--- a/crates/fault-simulation/src/scenario/claim.rs
+++ b/crates/fault-simulation/src/scenario/claim.rs
@@ -24,47 +24,47 @@
 /// What is claimed.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Claim {
-    /// Each of `at` sees each of `of` in a state.
+    /// Each viewer sees each viewed front in a state (`see`).
     See {
         /// The fronts whose view it is.
-        at: Fronts,
+        viewers: Fronts,
         /// The fronts that are viewed.
-        of: Fronts,
+        viewed: Fronts,
         /// The state.
         state: MemberState,
         /// The time that it may take.
         bound: Bound,
     },
-    /// At most so many accusations since the mark.
+    /// A limit on the false accusations since the mark (`accused`).
     Accused {
-        /// The accusing fronts that count.
-        by: Fronts,
-        /// Fronts that are accused rightly.
-        but: Fronts,
-        /// Accusations allowed in the whole fleet.
-        most: u32,
+        /// The fronts whose accusations count.
+        accusers: Fronts,
+        /// Fronts that are rightly accused.
+        except: Fronts,
+        /// Accusations allowed in the complete fleet.
+        allowed: u32,
         /// Accusations allowed for each front, in addition.
-        per_front: f64,
+        allowed_per_front: f64,
     },
-    /// The own health of each of these fronts.
+    /// The own health of each of some fronts (`stands`).
     LocalHealth {
         /// The fronts.
-        at: Fronts,
+        fronts: Fronts,
         /// Their health.
         health: LocalHealth,
         /// The time that it may take.
         bound: Bound,
     },
-    /// Each of `at` sees a new incarnation of each of `of`.
+    /// Each viewer sees a new incarnation of each restarted front, since the mark (`news`).
     Restarted {
         /// The fronts whose view it is.
-        at: Fronts,
+        viewers: Fronts,
         /// The fronts that restarted.
-        of: Fronts,
+        restarted: Fronts,
         /// The time that it may take.
         bound: Bound,
     },
-    /// A part of the other fronts knows the entry that was written last.
+    /// A part of the other fronts knows the entry that was written last (`holds`).
     EntryKnown {
         /// The part.
         part: f64,
@@ -73,7 +73,7 @@
         /// The largest error of the entry's age.
         max_age_error: Duration,
     },
-    /// Of the players that lost a session with the power, a part has one again or left, since the mark.
+    /// Of the players that lost a session with the power, a part has one again or left, since the mark (`back`).
     Recovered {
         /// Whether only sessions of paid classes count.
         paid: bool,
--- a/crates/fault-simulation/src/scenario/parser.rs
+++ b/crates/fault-simulation/src/scenario/parser.rs
@@ -88,14 +88,7 @@
             Raw::Write(front) => Action::WriteEntry {
                 front: *front as usize,
             },
-            Raw::Runs(raw) => Action::SelectBuild {
-                fronts: self.fronts(&path("runs.fronts"), &raw.fronts),
-                build: if raw.other {
-                    Build::Other
-                } else {
-                    Build::First
-                },
-            },
+            Raw::Runs(raw) => self.select_build(&path("runs"), raw),
             Raw::PowerOff(raw) => Action::Host(self.power_off(&path("power_off"), raw)),
             Raw::PowerOn(raw) => Action::Host(self.power_on(&path("power_on"), raw)),
             Raw::CopyDisks(text) => Action::Host(HostAction::CopyDisks(
@@ -207,6 +200,18 @@
         Action::Flood { fronts, copies }
     }
 
+    fn select_build(&mut self, path: &str, raw: &schema::Runs) -> Action {
+        let build = if raw.other {
+            Build::Other
+        } else {
+            Build::First
+        };
+        Action::SelectBuild {
+            fronts: self.fronts(&format!("{path}.fronts"), &raw.fronts),
+            build,
+        }
+    }
+
     fn power_off(&mut self, path: &str, raw: &schema::Power) -> HostAction {
         HostAction::PowerOff {
             fronts: self.fronts(&format!("{path}.fronts"), or_default(&raw.fronts, "none")),
@@ -250,8 +255,8 @@
 
     fn see(&mut self, path: &str, raw: &schema::See) -> Step {
         let claim = Claim::See {
-            at: self.fronts(&format!("{path}.at"), &raw.at),
-            of: self.fronts(&format!("{path}.of"), &raw.of),
+            viewers: self.fronts(&format!("{path}.at"), &raw.at),
+            viewed: self.fronts(&format!("{path}.of"), &raw.of),
             state: self.member_state(path, raw.state()),
             bound: self.bound(path, raw.bound.as_ref()),
         };
@@ -274,12 +279,15 @@
 
     fn accused(&mut self, path: &str, raw: &schema::Accused) -> Step {
         let claim = Claim::Accused {
-            by: self.fronts(&format!("{path}.by"), &raw.by),
-            but: self.fronts(&format!("{path}.but"), or_default(&raw.but, "none")),
-            most: raw.most,
-            per_front: self
-                .checks
-                .within(&format!("{path}.a_front"), raw.a_front, 0.0, 1000.0),
+            accusers: self.fronts(&format!("{path}.by"), &raw.by),
+            except: self.fronts(&format!("{path}.but"), or_default(&raw.but, "none")),
+            allowed: raw.most,
+            allowed_per_front: self.checks.within(
+                &format!("{path}.a_front"),
+                raw.a_front,
+                0.0,
+                1000.0,
+            ),
         };
         self.claim(path, &raw.claim, claim)
     }
@@ -300,7 +308,7 @@
             }
         };
         let claim = Claim::LocalHealth {
-            at: self.fronts(&format!("{path}.at"), &raw.at),
+            fronts: self.fronts(&format!("{path}.at"), &raw.at),
             health,
             bound: self.bound(path, raw.bound.as_ref()),
         };
@@ -309,8 +317,8 @@
 
     fn restarted(&mut self, path: &str, raw: &schema::News) -> Step {
         let claim = Claim::Restarted {
-            at: self.fronts(&format!("{path}.at"), &raw.at),
-            of: self.fronts(&format!("{path}.of"), &raw.of),
+            viewers: self.fronts(&format!("{path}.at"), &raw.at),
+            restarted: self.fronts(&format!("{path}.of"), &raw.of),
             bound: self.bound(path, raw.bound.as_ref()),
         };
         self.claim(path, &raw.claim, claim)
--- a/crates/fault-simulation/src/simulated_network.rs
+++ b/crates/fault-simulation/src/simulated_network.rs
@@ -282,10 +282,10 @@
         self.sent_before[number] + current
     }
 
-    /// Whether each of `at` sees each of `of` (but itself) in this state.
+    /// Whether each viewer sees each viewed front (except itself) in this state.
     #[must_use]
-    pub fn all_see(&self, at: &[usize], of: &[usize], state: MemberState) -> bool {
-        cluster::all_see(self, at, of, state)
+    pub fn all_see(&self, viewers: &[usize], viewed: &[usize], state: MemberState) -> bool {
+        cluster::all_see(self, viewers, viewed, state)
     }
 
     /// Advances until a condition holds; how long it took.
--- a/crates/fault-simulation/src/simulated_network/processes.rs
+++ b/crates/fault-simulation/src/simulated_network/processes.rs
@@ -3,7 +3,7 @@
     front_name, member_config, ChangeRecord, LastWrite, SimulatedNetwork, RESTART_EPOCH,
     RESTART_INCARNATIONS,
 };
-use crate::cluster::{Entry, MemberTransition};
+use crate::cluster::{EntryAge, MemberTransition};
 use crate::error::ActionError;
 use crate::network_conditions::NetworkConditions;
 use crate::scenario::HostAction;
@@ -81,8 +81,8 @@
         self.now
     }
 
-    fn member_state(&self, at: usize, of: usize) -> Option<MemberState> {
-        self.nodes[at].membership.state_of(&front_name(of))
+    fn member_state(&self, viewer: usize, viewed: usize) -> Option<MemberState> {
+        self.nodes[viewer].membership.state_of(&front_name(viewed))
     }
 
     fn own_health(&self, front: usize) -> Option<LocalHealth> {
@@ -94,8 +94,8 @@
         let transition = |record: &ChangeRecord| {
             Some(MemberTransition {
                 at: record.at,
-                by: record.by,
-                of: *self.numbers.get(&record.change.name)?,
+                viewer: record.by,
+                viewed: *self.numbers.get(&record.change.name)?,
                 state: record.change.state,
                 restarted: record.change.restarted,
             })
@@ -106,13 +106,13 @@
             .collect()
     }
 
-    fn last_entry(&self, at: usize) -> Option<Entry> {
+    fn last_entry_age(&self, reader: usize) -> Option<EntryAge> {
         let write = self.last_write.as_ref()?;
-        let reader = &self.nodes[at].membership;
+        let reader = &self.nodes[reader].membership;
         let entry = reader.entry(self.now, &front_name(write.node), ENTRY_KEY)?;
-        Some(Entry {
-            reported_age: entry.age,
-            actual_age: self.now.duration_since(write.at),
+        Some(EntryAge {
+            reported: entry.age,
+            actual: self.now.duration_since(write.at),
         })
     }
 
--- a/crates/fault-simulation/src/simulated_process.rs
+++ b/crates/fault-simulation/src/simulated_process.rs
@@ -1,5 +1,5 @@
 //! Processes that are simulated in virtual time as a cluster for scenarios, whatever state machine they run.
-use crate::cluster::{Cluster, Entry, MemberTransition, SendRate};
+use crate::cluster::{Cluster, EntryAge, MemberTransition, SendRate};
 use crate::error::ActionError;
 use crate::network_conditions::NetworkConditions;
 use crate::scenario::{Action, DelayRange, Fronts, HostAction};
@@ -78,14 +78,14 @@
     fn conditions(&mut self) -> &mut NetworkConditions;
     /// The virtual clock.
     fn clock(&self) -> Time;
-    /// The state that process `at` sees process `of` in; `None`: it does not know it.
-    fn member_state(&self, at: usize, of: usize) -> Option<MemberState>;
+    /// The state that one process sees another in; `None`: it does not know it.
+    fn member_state(&self, viewer: usize, viewed: usize) -> Option<MemberState>;
     /// A process's own health; `None`: it does not estimate any.
     fn own_health(&self, front: usize) -> Option<LocalHealth>;
     /// The transitions from a time on, in order.
     fn transitions_since(&self, from: Time) -> Vec<MemberTransition>;
-    /// The entry that was written last, as one process knows it; `None`: it does not.
-    fn last_entry(&self, at: usize) -> Option<Entry>;
+    /// The age of the entry that was written last, as one process knows it; `None`: it does not.
+    fn last_entry_age(&self, reader: usize) -> Option<EntryAge>;
     /// What a process sent, its previous incarnations included.
     fn sent_by(&self, front: usize) -> SentCounts;
 }
@@ -107,20 +107,20 @@
         carry_out(self, action)
     }
 
-    fn state(&self, at: usize, of: usize) -> Option<MemberState> {
-        self.member_state(at, of)
+    fn state(&self, viewer: usize, viewed: usize) -> Option<MemberState> {
+        self.member_state(viewer, viewed)
     }
 
-    fn local_health(&self, at: usize) -> Option<LocalHealth> {
-        self.own_health(at)
+    fn local_health(&self, front: usize) -> Option<LocalHealth> {
+        self.own_health(front)
     }
 
     fn transitions(&self, from: Time) -> Vec<MemberTransition> {
         self.transitions_since(from)
     }
 
-    fn entry(&self, at: usize) -> Option<Entry> {
-        self.last_entry(at)
+    fn entry_age(&self, reader: usize) -> Option<EntryAge> {
+        self.last_entry_age(reader)
     }
 
     fn sent(&self) -> SendRate {
--- a/crates/fault-simulation/tests/claims.rs
+++ b/crates/fault-simulation/tests/claims.rs
@@ -1,6 +1,6 @@
 //! The checks of claims are tested: for each kind a cluster in which it holds, and the nearest one in which it does not.
 use crankpaddle_fault_simulation::{
-    parse, play, Action, ActionError, Cluster, Entry, MemberTransition, SendRate, MS,
+    parse, play, Action, ActionError, Cluster, EntryAge, MemberTransition, SendRate, MS,
 };
 use crankpaddle_membership::{LocalHealth, MemberState};
 use crankpaddle_time::Time;
@@ -35,8 +35,9 @@
         Ok(())
     }
 
-    fn state(&self, at: usize, of: usize) -> Option<MemberState> {
-        let known = |t: &&MemberTransition| t.at <= self.now && (t.by, t.of) == (at, of);
+    fn state(&self, viewer: usize, viewed: usize) -> Option<MemberState> {
+        let known =
+            |t: &&MemberTransition| t.at <= self.now && (t.viewer, t.viewed) == (viewer, viewed);
         self.transitions
             .iter()
             .rfind(known)
@@ -59,14 +60,14 @@
             .collect()
     }
 
-    fn entry(&self, at: usize) -> Option<Entry> {
+    fn entry_age(&self, reader: usize) -> Option<EntryAge> {
         let entry = self
             .entries
             .iter()
-            .find(|entry| entry.at <= self.now && entry.front == at)?;
-        Some(Entry {
-            reported_age: self.now.duration_since(Time(0)),
-            actual_age: self.now.duration_since(Time(0)) + entry.age_error,
+            .find(|entry| entry.at <= self.now && entry.front == reader)?;
+        Some(EntryAge {
+            reported: self.now.duration_since(Time(0)),
+            actual: self.now.duration_since(Time(0)) + entry.age_error,
         })
     }
 
@@ -100,11 +101,11 @@
     }
 }
 
-fn transition(at: u32, by: usize, of: usize, state: MemberState) -> MemberTransition {
+fn transition(at: u32, viewer: usize, viewed: usize, state: MemberState) -> MemberTransition {
     MemberTransition {
         at: Time(0) + at * MS,
-        by,
-        of,
+        viewer,
+        viewed,
         state,
         restarted: false,
     }
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -29,7 +29,7 @@
 pub use cost::Cost;
 use crankpaddle_config::Config;
 use crankpaddle_fault_simulation::{
-    play, Action, ActionError, Build, Case, CaseResult, Cluster, DelayRange, Entry, Fronts,
+    play, Action, ActionError, Build, Case, CaseResult, Cluster, DelayRange, EntryAge, Fronts,
     MemberTransition, RecoveryProgress, SendRate,
 };
 use crankpaddle_membership::{LocalHealth, MemberState};
@@ -207,7 +207,7 @@
         self.views.state_changes(from)
     }
 
-    fn entry(&self, _: usize) -> Option<Entry> {
+    fn entry_age(&self, _: usize) -> Option<EntryAge> {
         None
     }
 
--- a/crates/testbed/src/membership_poll.rs
+++ b/crates/testbed/src/membership_poll.rs
@@ -185,8 +185,8 @@
             };
             self.state_changes.push(MemberTransition {
                 at: now - Duration::from_millis(turn.ago_ms),
-                by: front,
-                of,
+                viewer: front,
+                viewed: of,
                 state: member_state(turn.state),
                 restarted: turn.restarted,
             });
