--- a/crates/daemon/src/http_responses.rs
+++ b/crates/daemon/src/http_responses.rs
@@ -112,7 +112,7 @@
         let Some(membership) = &self.shared.membership else {
             return self.problem(404, "this front has no peers in its configuration", &[]);
         };
-        match membership.members((clock::now() + REPLY_TIMEOUT).as_nanos()) {
+        match membership.members(clock::now() + REPLY_TIMEOUT) {
             Some(members) => {
                 let body = serde_json::to_string(&members).unwrap_or_default();
                 self.success(200, JSON, &body)
--- a/crates/daemon/src/membership_runner.rs
+++ b/crates/daemon/src/membership_runner.rs
@@ -12,7 +12,7 @@
     LocalHealth, MemberChange, MemberState, Membership, MembershipConfig, Output,
 };
 use crankpaddle_net::{clock, drain_queue, recv_until, spawn, Stack};
-use crankpaddle_time::{nanoseconds, Time};
+use crankpaddle_time::Time;
 use may::net::UdpSocket;
 use may::sync::mpsc::{channel, Receiver, Sender};
 use std::collections::HashMap;
@@ -26,9 +26,9 @@
 const COMMAND_BATCH: usize = 64;
 /// A socket that can't be read is tried again after this time.
 const READ_RETRY_INTERVAL: Duration = Duration::from_millis(20);
-/// Bytes of a datagram that are read; a longer one is not a peer's.
-const MOST_DATAGRAM: usize = 2048;
-/// The announcement that this front leaves may take this long.
+/// Bytes of a datagram that are read; a peer's is never longer.
+const MAX_DATAGRAM_BYTES: usize = 2048;
+/// Longest wait for the announcement that this front leaves.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(500);
 
 enum Command {
@@ -43,26 +43,26 @@
 
 impl MembershipHandle {
     /// This front's view of its peers; `None` where there is no reply until `deadline`. Call in a coroutine.
-    pub(crate) fn members(&self, deadline: u64) -> Option<Members> {
+    pub(crate) fn members(&self, deadline: Time) -> Option<Members> {
         let (reply, replies) = channel();
         self.0.send(Command::DescribeMembers { reply }).ok()?;
-        recv_until(&replies, Time(deadline)).ok()
+        recv_until(&replies, deadline).ok()
     }
 
     /// Announces to the peers that this front leaves. Call on a thread, not in a coroutine.
     pub(crate) fn leave(&self) {
         let (done, left) = std::sync::mpsc::channel();
         if self.0.send(Command::Leave { done }).is_ok() {
-            let _ = left.recv_timeout(LEAVE_TIMEOUT); // Else the peers find out by themselves, later.
+            let _ = left.recv_timeout(LEAVE_TIMEOUT); // After a timeout the peers detect it by their probes.
         }
     }
 }
 
-/// All that is needed to take part in the membership.
+/// The configuration, socket and command queue with which the membership is run.
 pub(crate) struct OpenedMembership {
     config: MembershipConfig,
     socket: Arc<UdpSocket>,
-    /// Addresses that go before those that peers state, by name.
+    /// Configured addresses of peers, by name; they take precedence over the announced ones.
     routes: HashMap<String, SocketAddr>,
     commands: Sender<Command>,
     inbox: Receiver<Command>,
@@ -109,6 +109,7 @@
 ) -> MembershipConfig {
     let unix_time = SystemTime::now().duration_since(UNIX_EPOCH);
     let epoch = unix_time.unwrap_or(Duration::ZERO).as_millis() as u64;
+    let probe_interval = config.probe_every;
     MembershipConfig {
         name: config.name.clone(),
         address: own_address.to_string(),
@@ -116,17 +117,17 @@
         incarnation: rand::random(),
         key,
         seeds: config.seeds.iter().map(SocketAddr::to_string).collect(),
-        probe_interval: nanoseconds(config.probe_every),
-        probe_timeout: nanoseconds(config.probe_every) * 2 / 5,
-        datagrams: f64::from(config.datagrams),
-        bytes: config.bytes as f64,
+        probe_interval,
+        probe_timeout: probe_interval * 2 / 5,
+        datagrams_per_second: f64::from(config.datagrams),
+        bytes_per_second: config.bytes as f64,
         ..MembershipConfig::default()
     }
 }
 
 impl OpenedMembership {
-    /// Takes part. `on_fleet_size` is called with the number of known fronts, this one included, whenever it
-    /// changes.
+    /// Starts the coroutines. `on_fleet_size` is called with the number of known fronts, this one included,
+    /// whenever it changes.
     pub(crate) fn run(self, on_fleet_size: impl Fn(u32) + Send + 'static) {
         let reader_socket = self.socket.clone();
         let commands = self.commands;
@@ -134,7 +135,7 @@
             read_datagrams(&reader_socket, &commands);
         });
         let runner = MembershipRunner {
-            membership: Membership::new(self.config, rand::random(), clock::now().as_nanos()),
+            membership: Membership::new(self.config, rand::random(), clock::now()),
             socket: self.socket,
             routes: self.routes,
             outputs: Vec::new(),
@@ -148,7 +149,7 @@
 }
 
 fn read_datagrams(socket: &UdpSocket, commands: &Sender<Command>) {
-    let mut buffer = [0u8; MOST_DATAGRAM];
+    let mut buffer = [0u8; MAX_DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buffer) {
             Ok((length, from)) => {
@@ -157,8 +158,7 @@
                     return;
                 }
             }
-            // The error may be that of a peer that is not there, reported by the host's network; the socket
-            // is sound.
+            // The host's network may report that a peer can't be reached; the socket itself still works.
             Err(_) => crankpaddle_net::sleep(READ_RETRY_INTERVAL),
         }
     }
@@ -181,10 +181,10 @@
 
     /// Handles the commands that come until the next deadline, then the timers.
     fn run_once(&mut self, inbox: &Receiver<Command>) -> ControlFlow<()> {
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         let deadline = self.membership.next_expiry();
         if deadline > now {
-            match recv_until(inbox, Time(deadline)) {
+            match recv_until(inbox, deadline) {
                 Ok(command) => self.handle_command(command)?,
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return ControlFlow::Break(()),
@@ -195,8 +195,7 @@
         for command in commands {
             self.handle_command(command)?;
         }
-        self.membership
-            .expire(clock::now().as_nanos(), &mut self.outputs);
+        self.membership.expire(clock::now(), &mut self.outputs);
         self.perform_outputs();
         ControlFlow::Continue(())
     }
@@ -207,17 +206,15 @@
             Command::Receive { from, bytes } => {
                 let from = from.to_string();
                 self.membership
-                    .receive(clock::now().as_nanos(), &from, &bytes, &mut self.outputs);
+                    .receive(clock::now(), &from, &bytes, &mut self.outputs);
                 self.perform_outputs();
             }
             Command::DescribeMembers { reply } => {
-                let members =
-                    describe_members(clock::now().as_nanos(), &self.membership, &self.history);
+                let members = describe_members(clock::now(), &self.membership, &self.history);
                 let _ = reply.send(members); // The requester may be gone.
             }
             Command::Leave { done } => {
-                self.membership
-                    .leave(clock::now().as_nanos(), &mut self.outputs);
+                self.membership.leave(clock::now(), &mut self.outputs);
                 self.perform_outputs();
                 let _ = done.send(()); // The requester may have timed out.
                 return ControlFlow::Break(());
@@ -251,10 +248,10 @@
         self.report_fleet_size();
     }
 
-    fn send_datagram(&self, name: &str, stated_address: &str, bytes: &[u8]) {
+    fn send_datagram(&self, name: &str, announced_address: &str, bytes: &[u8]) {
         let route = self.routes.get(name).copied();
-        if let Some(address) = route.or_else(|| stated_address.parse().ok()) {
-            // What can't be sent at once is lost, as on any network.
+        if let Some(address) = route.or_else(|| announced_address.parse().ok()) {
+            // A datagram that can't be sent at once is dropped.
             let _ = self.socket.inner().send_to(bytes, address);
         }
     }
@@ -266,18 +263,18 @@
             MemberState::Alive | MemberState::Left => tracing::info!(
                 member = change.name,
                 ?state,
-                by = change.by,
+                by = change.reported_by,
                 restarted = change.restarted,
                 "member state changed"
             ),
             MemberState::Suspect | MemberState::Dead => tracing::warn!(
                 member = change.name,
                 ?state,
-                by = change.by,
+                by = change.reported_by,
                 "member state changed"
             ),
         }
-        self.history.record(clock::now().as_nanos(), change);
+        self.history.record(clock::now(), change);
     }
 
     fn report_fleet_size(&mut self) {
--- a/crates/daemon/src/membership_status.rs
+++ b/crates/daemon/src/membership_status.rs
@@ -1,16 +1,14 @@
 //! The reply to `GET /members`: this front's view of its peers.
 use crankpaddle_api::describe::{Members, OwnStanding, Peer, PeerState, PeerTurn};
 use crankpaddle_membership::{LocalHealth, Member, MemberChange, MemberState, Membership};
+use crankpaddle_time::Time;
 use std::collections::VecDeque;
 
-const MICROSECOND: u64 = 1000;
-const MILLISECOND: u64 = 1_000_000;
-/// Changes that are reported at most.
-const MOST_CHANGES: usize = 256;
+/// The most changes that are kept.
+const MAX_CHANGES: usize = 256;
 
 struct RecordedChange {
-    /// Clock time, nanoseconds.
-    at: u64,
+    at: Time,
     change: MemberChange,
 }
 
@@ -18,37 +16,37 @@
 #[derive(Default)]
 pub(crate) struct ChangeHistory {
     changes: VecDeque<RecordedChange>,
-    /// Changes so far, those included that were dropped.
+    /// Number of all changes so far, the dropped ones included.
     total: u64,
 }
 
 impl ChangeHistory {
-    pub(crate) fn record(&mut self, now: u64, change: MemberChange) {
+    pub(crate) fn record(&mut self, now: Time, change: MemberChange) {
         self.total += 1;
-        if self.changes.len() == MOST_CHANGES {
+        if self.changes.len() == MAX_CHANGES {
             self.changes.pop_front();
         }
         self.changes.push_back(RecordedChange { at: now, change });
     }
 
-    fn describe(&self, now: u64) -> Vec<PeerTurn> {
+    fn describe(&self, now: Time) -> Vec<PeerTurn> {
         let first = self.total + 1 - self.changes.len() as u64;
         let numbered = self.changes.iter().zip(first..);
         let described = numbered.map(|(RecordedChange { at, change }, number)| PeerTurn {
             number,
-            ago_ms: now.saturating_sub(*at) / MILLISECOND,
+            ago_ms: now.duration_since(*at).as_millis() as u64,
             name: change.name.clone(),
             state: peer_state(change.state),
-            by: change.by.clone(),
+            by: change.reported_by.clone(),
             restarted: change.restarted,
         });
         described.collect()
     }
 }
 
-/// The reply, at this clock time in nanoseconds.
+/// The reply, as of `now`.
 pub(crate) fn describe_members(
-    now: u64,
+    now: Time,
     membership: &Membership,
     history: &ChangeHistory,
 ) -> Members {
@@ -71,14 +69,14 @@
     }
 }
 
-fn describe_member(now: u64, member: Member) -> Peer {
+fn describe_member(now: Time, member: Member) -> Peer {
     Peer {
         name: member.name,
         address: member.address,
         state: peer_state(member.state),
-        since_ms: now.saturating_sub(member.since) / MILLISECOND,
-        by: member.by,
-        rtt_us: member.rtt.map(|rtt| rtt / MICROSECOND),
+        since_ms: now.duration_since(member.since).as_millis() as u64,
+        by: member.reported_by,
+        rtt_us: member.rtt.map(|rtt| rtt.as_micros() as u64),
     }
 }
 
--- a/crates/fault-simulation/src/cluster.rs
+++ b/crates/fault-simulation/src/cluster.rs
@@ -1,25 +1,44 @@
 //! The interface of what a scenario runs on: a fleet in one process, or one of processes.
 use crate::error::ActionError;
-use crate::scenario::Act;
+use crate::scenario::Action;
 use crankpaddle_membership::{LocalHealth, MemberState};
+use crankpaddle_time::Time;
+use std::time::Duration;
 
 /// A front's view of another changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MemberTransition {
-    /// When, nanoseconds of the cluster's clock.
-    pub at: u64,
+    /// When, by the cluster's clock.
+    pub at: Time,
     /// The front whose view it is.
-    pub by: usize,
+    pub viewer: usize,
     /// The front that is viewed.
-    pub of: usize,
+    pub viewed: usize,
     /// The state that it is seen in now.
     pub state: MemberState,
     /// Whether it is another incarnation than before.
     pub restarted: bool,
 }
 
-/// Datagrams and bytes a second, sent by the front that sent most.
-pub type Rate = (f64, f64);
+/// What is sent in a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SendRate {
+    /// Datagrams a second.
+    pub datagrams: f64,
+    /// Bytes a second.
+    pub bytes: f64,
+}
+
+impl SendRate {
+    /// The greater rate of datagrams and the greater rate of bytes, each by itself.
+    #[must_use]
+    pub fn max(self, other: SendRate) -> SendRate {
+        SendRate {
+            datagrams: self.datagrams.max(other.datagrams),
+            bytes: self.bytes.max(other.bytes),
+        }
+    }
+}
 
 /// Sessions that were lost with the power.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -32,57 +51,58 @@
     pub lost: u64,
 }
 
-/// The age of an entry, nanoseconds.
+/// The age of an entry, by two clocks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Entry {
+pub struct EntryAge {
     /// As the reading front computes it.
-    pub reported_age: u64,
+    pub reported: Duration,
     /// By the cluster's clock.
-    pub actual_age: u64,
+    pub actual: Duration,
 }
 
 /// A fleet of fronts and the network between them.
 pub trait Cluster {
     /// How many fronts there are, whether they run or not.
     fn fronts(&self) -> usize;
-    /// The clock, nanoseconds.
-    fn now(&self) -> u64;
+    /// The present point in time.
+    fn now(&self) -> Time;
     /// Lets time pass.
-    fn run(&mut self, time: u64);
+    fn run(&mut self, time: Duration);
     /// Carries out an action.
     ///
     /// # Errors
     /// This cluster can't carry it out.
-    fn act(&mut self, act: &Act) -> Result<(), ActionError>;
-    /// The state that front `at` sees front `of` in; `None`: it does not know it, or was not asked yet.
-    fn state(&self, at: usize, of: usize) -> Option<MemberState>;
+    fn act(&mut self, action: &Action) -> Result<(), ActionError>;
+    /// The state that one front sees another in; `None`: it does not know it, or was not asked yet.
+    fn state(&self, viewer: usize, viewed: usize) -> Option<MemberState>;
     /// A front's own health.
-    fn local_health(&self, at: usize) -> Option<LocalHealth>;
+    fn local_health(&self, front: usize) -> Option<LocalHealth>;
     /// The transitions from a time on, in order.
-    fn transitions(&self, from: u64) -> Vec<MemberTransition>;
-    /// The entry that was written last, as one front knows it; `None`: it does not.
-    fn entry(&self, at: usize) -> Option<Entry>;
-    /// The highest rate of one front, over the whole run.
-    fn sent(&self) -> Rate;
+    fn transitions(&self, from: Time) -> Vec<MemberTransition>;
+    /// The age of the entry that was written last, as one front knows it; `None`: it does not.
+    fn entry_age(&self, reader: usize) -> Option<EntryAge>;
+    /// The highest rate of one front, averaged over the complete run.
+    fn sent(&self) -> SendRate;
     /// Sessions lost when the power failed (of paid classes, or of all). `None`: there are no sessions here.
     fn recovery_progress(&self, _paid: bool) -> Option<RecoveryProgress> {
         None
     }
     /// The time that servers whose power failed need to take so many sessions, if only their slow start limits it.
-    fn warm_up_time(&self, _sessions: f64) -> Option<u64> {
+    fn warm_up_time(&self, _sessions: f64) -> Option<Duration> {
         None
     }
 }
 
-/// Whether each of `at` sees each of `of` (but itself) in this state.
+/// Whether each viewer sees each viewed front (except itself) in this state.
 pub fn all_see<C: Cluster + ?Sized>(
     cluster: &C,
-    at: &[usize],
-    of: &[usize],
+    viewers: &[usize],
+    viewed: &[usize],
     state: MemberState,
 ) -> bool {
-    at.iter().all(|viewer| {
-        of.iter()
-            .all(|viewed| viewer == viewed || cluster.state(*viewer, *viewed) == Some(state))
+    viewers.iter().all(|viewer| {
+        viewed
+            .iter()
+            .all(|front| viewer == front || cluster.state(*viewer, *front) == Some(state))
     })
 }
--- a/crates/fault-simulation/src/network_conditions.rs
+++ b/crates/fault-simulation/src/network_conditions.rs
@@ -3,15 +3,17 @@
 #[cfg(test)]
 mod tests;
 
-use crate::scenario::{Act, DelayRange, Fronts};
-use crate::SECOND;
+use crate::scenario::{Action, DelayRange, Fronts};
+use crate::NANOSECONDS_PER_SECOND;
+use crankpaddle_time::Time;
 use std::collections::HashMap;
+use std::time::Duration;
 
 /// A datagram that would wait longer than this for a link with a bandwidth is dropped.
-const MAX_QUEUEING: u64 = SECOND;
+const MAX_QUEUEING: Duration = Duration::from_secs(1);
 
-/// Whether a datagram from one front to another passes now.
-pub type LinkFilter = Box<dyn Fn(usize, usize) -> bool + Send>;
+/// Whether datagrams on a link pass now.
+pub type LinkFilter = Box<dyn Fn(Link) -> bool + Send>;
 
 /// One direction between two fronts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -22,7 +24,7 @@
     pub to: usize,
 }
 
-/// The conditions of a network. Times are nanoseconds.
+/// The conditions of a network.
 pub struct NetworkConditions {
     /// Part of the datagrams that is lost.
     pub loss: f64,
@@ -32,15 +34,15 @@
     pub delay: DelayRange,
     /// Bytes a second from one front to another; infinite: no limit.
     pub bandwidth: f64,
-    /// Whether a datagram from one front to another passes now.
+    /// Whether datagrams on a link pass now.
     pub link_filter: LinkFilter,
-    /// Fronts whose datagrams arrive so many times.
+    /// Copies that arrive of each datagram of a front; one of the others'.
     pub floods: HashMap<usize, u32>,
     cuts: Vec<Cut>,
-    busy_until: HashMap<Link, u64>, // Of links with a bandwidth.
+    busy_until: HashMap<Link, Time>, // Of links with a bandwidth.
 }
 
-/// Nothing passes from these fronts to those.
+/// A set of links on which nothing passes: from each of some fronts to each of others.
 #[derive(Clone)]
 struct Cut {
     from: Vec<bool>, // By the number of the front.
@@ -56,9 +58,9 @@
         }
     }
 
-    fn blocks(&self, from: usize, to: usize) -> bool {
+    fn blocks(&self, link: Link) -> bool {
         let has = |members: &[bool], front: usize| members.get(front).copied().unwrap_or(false);
-        has(&self.from, from) && has(&self.to, to)
+        has(&self.from, link.from) && has(&self.to, link.to)
     }
 }
 
@@ -71,7 +73,7 @@
             duplicated: 0.0,
             delay,
             bandwidth: f64::INFINITY,
-            link_filter: Box::new(|_, _| true),
+            link_filter: Box::new(|_| true),
             floods: HashMap::new(),
             cuts: Vec::new(),
             busy_until: HashMap::new(),
@@ -80,9 +82,9 @@
 
     /// Carries out an action on the network between so many fronts; other actions are ignored. `usual`: the transit time where
     /// the scenario states none.
-    pub fn act(&mut self, act: &Act, fleet: usize, usual: DelayRange) {
-        match act {
-            Act::Net {
+    pub fn act(&mut self, action: &Action, fleet: usize, usual: DelayRange) {
+        match action {
+            Action::SetNetwork {
                 loss,
                 duplicated,
                 delay,
@@ -93,22 +95,25 @@
                 self.bandwidth = *bandwidth;
                 self.delay = delay.unwrap_or(usual);
             }
-            Act::Cut { from, to, both } => {
+            Action::Partition {
+                from,
+                to,
+                both_ways,
+            } => {
                 self.cuts.push(Cut::new(from, to, fleet));
-                if *both {
+                if *both_ways {
                     self.cuts.push(Cut::new(to, from, fleet));
                 }
                 let cuts = self.cuts.clone();
-                self.link_filter =
-                    Box::new(move |from, to| !cuts.iter().any(|cut| cut.blocks(from, to)));
+                self.link_filter = Box::new(move |link| !cuts.iter().any(|cut| cut.blocks(link)));
             }
-            Act::Heal => {
+            Action::Heal => {
                 self.cuts.clear();
-                self.link_filter = Box::new(|_, _| true);
+                self.link_filter = Box::new(|_| true);
             }
-            Act::Flood(fronts, times) => {
+            Action::Flood { fronts, copies } => {
                 for front in fronts.of(fleet) {
-                    self.floods.insert(front, *times);
+                    self.floods.insert(front, *copies);
                 }
             }
             _ => {}
@@ -118,17 +123,17 @@
     /// When the copies of a datagram arrive; none where it is lost.
     pub fn arrivals(
         &mut self,
-        now: u64,
+        now: Time,
         link: Link,
         bytes: usize,
         rng: &mut oorandom::Rand64,
-    ) -> Vec<u64> {
+    ) -> Vec<Time> {
         let mut arrivals = Vec::new();
-        if !(self.link_filter)(link.from, link.to) {
+        if !(self.link_filter)(link) {
             return arrivals;
         }
-        let times = self.floods.get(&link.from).copied().unwrap_or(1);
-        for _ in 0..times {
+        let copies_sent = self.floods.get(&link.from).copied().unwrap_or(1);
+        for _ in 0..copies_sent {
             if rng.rand_float() < self.loss {
                 continue;
             }
@@ -145,17 +150,17 @@
     }
 
     /// When a datagram has passed the link's bandwidth; `None` if its queue is full.
-    fn departure(&mut self, now: u64, link: Link, bytes: usize) -> Option<u64> {
+    fn departure(&mut self, now: Time, link: Link, bytes: usize) -> Option<Time> {
         if self.bandwidth.is_infinite() {
             return Some(now);
         }
         let busy_until = self.busy_until.entry(link).or_insert(now);
         let begins = (*busy_until).max(now);
-        if begins - now > MAX_QUEUEING {
+        if begins.duration_since(now) > MAX_QUEUEING {
             return None;
         }
-        let transmission = (bytes as f64 / self.bandwidth * SECOND as f64) as u64;
-        *busy_until = begins + transmission;
+        let transmission = bytes as f64 / self.bandwidth * NANOSECONDS_PER_SECOND;
+        *busy_until = begins + Duration::from_nanos(transmission as u64);
         Some(*busy_until)
     }
 }
--- a/crates/fault-simulation/src/scenario/parser.rs
+++ b/crates/fault-simulation/src/scenario/parser.rs
@@ -1,8 +1,9 @@
 //! Reads a case from protobuf text format, checked with line, column and what is allowed.
-use super::{Act, Bound, Case, Claim, DelayRange, Fronts, Power, Spoil, Step};
+use super::{Action, Bound, Build, Case, Claim, DelayRange, DiskState, Fronts, HostAction, Step};
 use crankpaddle_membership::{LocalHealth, MemberState};
 use crankpaddle_textproto::{Checks, Problem};
 use std::collections::HashMap;
+use std::time::Duration;
 
 #[allow(missing_docs, unreachable_pub)] // Generated; the schema has comments of its own.
 mod schema {
@@ -65,8 +66,8 @@
             return Step::Mark;
         };
         let path = |field: &str| format!("{at}.{field}");
-        let act = match kind {
-            Raw::Run(time) => return Step::Run(self.checks.time(&path("run"), time)),
+        let action = match kind {
+            Raw::Run(time) => return Step::Run(self.time(&path("run"), time)),
             Raw::Mark(_) => return Step::Mark,
             Raw::See(raw) => return self.see(&path("see"), raw),
             Raw::Accused(raw) => return self.accused(&path("accused"), raw),
@@ -74,28 +75,32 @@
             Raw::News(raw) => return self.restarted(&path("news"), raw),
             Raw::Back(raw) => return self.recovered(&path("back"), raw),
             Raw::Holds(raw) => return self.entry_known(&path("holds"), raw),
-            Raw::Start(text) => Act::Start(self.fronts(&path("start"), text)),
-            Raw::Kill(text) => Act::Kill(self.fronts(&path("kill"), text)),
-            Raw::End(text) => Act::End(self.fronts(&path("end"), text)),
-            Raw::Stop(text) => Act::Stop(self.fronts(&path("stop"), text)),
-            Raw::GoOn(text) => Act::GoOn(self.fronts(&path("go_on"), text)),
+            Raw::Start(text) => Action::Start(self.fronts(&path("start"), text)),
+            Raw::Kill(text) => Action::Kill(self.fronts(&path("kill"), text)),
+            Raw::End(text) => Action::ShutDown(self.fronts(&path("end"), text)),
+            Raw::Stop(text) => Action::Pause(self.fronts(&path("stop"), text)),
+            Raw::GoOn(text) => Action::Resume(self.fronts(&path("go_on"), text)),
             Raw::Restart(raw) => self.restart(&path("restart"), raw),
             Raw::Net(raw) => self.net(&path("net"), raw),
             Raw::Cut(raw) => self.cut(&path("cut"), raw),
-            Raw::Heal(_) => Act::Heal,
+            Raw::Heal(_) => Action::Heal,
             Raw::Flood(raw) => self.flood(&path("flood"), raw),
-            Raw::Write(front) => Act::Write(*front as usize),
-            Raw::Runs(raw) => Act::Runs(self.fronts(&path("runs.fronts"), &raw.fronts), raw.other),
-            Raw::PowerOff(raw) => Act::Power(self.power_off(&path("power_off"), raw)),
-            Raw::PowerOn(raw) => Act::Power(self.power_on(&path("power_on"), raw)),
-            Raw::CopyDisks(text) => Act::Power(Power::Copy(self.fronts(&path("copy_disks"), text))),
-            Raw::Disk(raw) => Act::Power(self.disk(&path("disk"), raw)),
+            Raw::Write(front) => Action::WriteEntry {
+                front: *front as usize,
+            },
+            Raw::Runs(raw) => self.select_build(&path("runs"), raw),
+            Raw::PowerOff(raw) => Action::Host(self.power_off(&path("power_off"), raw)),
+            Raw::PowerOn(raw) => Action::Host(self.power_on(&path("power_on"), raw)),
+            Raw::CopyDisks(text) => Action::Host(HostAction::CopyDisks(
+                self.fronts(&path("copy_disks"), text),
+            )),
+            Raw::Disk(raw) => Action::Host(self.disk(&path("disk"), raw)),
             Raw::LoseBooks(text) => {
                 let servers = self.fronts(&path("lose_books"), text);
-                Act::Power(Power::LoseSessionInventories(servers))
+                Action::Host(HostAction::LoseSessionInventories(servers))
             }
         };
-        Step::Act(act)
+        Step::Action(action)
     }
 
     fn fronts(&mut self, path: &str, text: &str) -> Fronts {
@@ -112,24 +117,26 @@
         let Some(raw) = raw else {
             self.checks.wrong(path, "has no bound");
             return Bound {
-                base: 0,
-                per_decade: 0,
+                base: Duration::ZERO,
+                per_decade: Duration::ZERO,
             };
         };
         Bound {
-            base: self
-                .checks
-                .time(&format!("{path}.bound.within"), &raw.within),
+            base: self.time(&format!("{path}.bound.within"), &raw.within),
             per_decade: self.optional_time(&format!("{path}.bound.more"), &raw.more),
         }
     }
 
-    /// A time; 0 where there is none.
-    fn optional_time(&mut self, path: &str, text: &str) -> u64 {
+    fn time(&mut self, path: &str, text: &str) -> Duration {
+        Duration::from_nanos(self.checks.time(path, text))
+    }
+
+    /// A time; zero where none is stated.
+    fn optional_time(&mut self, path: &str, text: &str) -> Duration {
         if text.is_empty() {
-            return 0;
+            return Duration::ZERO;
         }
-        self.checks.time(path, text)
+        self.time(path, text)
     }
 
     /// A part from 0 to 1.
@@ -140,14 +147,14 @@
 
 /// Actions.
 impl Parser<'_, '_> {
-    fn restart(&mut self, path: &str, raw: &schema::Restart) -> Act {
+    fn restart(&mut self, path: &str, raw: &schema::Restart) -> Action {
         let fronts = self.fronts(&format!("{path}.fronts"), &raw.fronts);
-        let after = self.checks.time(&format!("{path}.after"), &raw.after);
-        Act::Restart(fronts, after)
+        let after = self.time(&format!("{path}.after"), &raw.after);
+        Action::Restart { fronts, after }
     }
 
-    fn net(&mut self, path: &str, raw: &schema::Net) -> Act {
-        Act::Net {
+    fn net(&mut self, path: &str, raw: &schema::Net) -> Action {
+        Action::SetNetwork {
             loss: self.part(&format!("{path}.loss"), raw.loss),
             duplicated: self.part(&format!("{path}.doubled"), raw.doubled),
             delay: self.delay(path, raw),
@@ -161,7 +168,7 @@
         }
         let least = format!("{path}.least");
         let min = self.optional_time(&least, &raw.least);
-        let max = self.checks.time(&format!("{path}.most"), &raw.most);
+        let max = self.time(&format!("{path}.most"), &raw.most);
         self.checks
             .must(min <= max, &least, "is more than the most");
         Some(DelayRange {
@@ -177,46 +184,61 @@
         self.checks.rate(path, text) * BYTES_PER_KILOBYTE
     }
 
-    fn cut(&mut self, path: &str, raw: &schema::Cut) -> Act {
-        Act::Cut {
+    fn cut(&mut self, path: &str, raw: &schema::Cut) -> Action {
+        Action::Partition {
             from: self.fronts(&format!("{path}.from"), &raw.from),
             to: self.fronts(&format!("{path}.to"), &raw.to),
-            both: !raw.one_way,
+            both_ways: !raw.one_way,
         }
     }
 
-    fn flood(&mut self, path: &str, raw: &schema::Flood) -> Act {
+    fn flood(&mut self, path: &str, raw: &schema::Flood) -> Action {
         let fronts = self.fronts(&format!("{path}.fronts"), &raw.fronts);
-        let times = self
+        let copies = self
             .checks
             .count(&format!("{path}.times"), raw.times, 1, 1000);
-        Act::Flood(fronts, times)
+        Action::Flood { fronts, copies }
+    }
+
+    fn select_build(&mut self, path: &str, raw: &schema::Runs) -> Action {
+        let build = if raw.other {
+            Build::Other
+        } else {
+            Build::First
+        };
+        Action::SelectBuild {
+            fronts: self.fronts(&format!("{path}.fronts"), &raw.fronts),
+            build,
+        }
     }
 
-    fn power_off(&mut self, path: &str, raw: &schema::Power) -> Power {
-        Power::Off {
+    fn power_off(&mut self, path: &str, raw: &schema::Power) -> HostAction {
+        HostAction::PowerOff {
             fronts: self.fronts(&format!("{path}.fronts"), or_default(&raw.fronts, "none")),
             servers: self.fronts(&format!("{path}.servers"), or_default(&raw.servers, "none")),
             list_service: raw.list,
         }
     }
 
-    fn power_on(&mut self, path: &str, raw: &schema::Power) -> Power {
-        Power::On {
+    fn power_on(&mut self, path: &str, raw: &schema::Power) -> HostAction {
+        HostAction::PowerOn {
             fronts: self.fronts(&format!("{path}.fronts"), or_default(&raw.fronts, "none")),
             servers: self.fronts(&format!("{path}.servers"), or_default(&raw.servers, "none")),
             list_service: raw.list,
         }
     }
 
-    fn disk(&mut self, path: &str, raw: &schema::Disk) -> Power {
-        let spoil = match raw.is() {
-            schema::Spoil::Intact => Spoil::Intact,
-            schema::Spoil::Empty => Spoil::Empty,
-            schema::Spoil::Old => Spoil::Old,
-            schema::Spoil::Torn => Spoil::Torn,
+    fn disk(&mut self, path: &str, raw: &schema::Disk) -> HostAction {
+        let state = match raw.is() {
+            schema::Spoil::Intact => DiskState::Intact,
+            schema::Spoil::Empty => DiskState::Empty,
+            schema::Spoil::Old => DiskState::Outdated,
+            schema::Spoil::Torn => DiskState::Torn,
         };
-        Power::Disk(self.fronts(&format!("{path}.fronts"), &raw.fronts), spoil)
+        HostAction::SetDisks {
+            fronts: self.fronts(&format!("{path}.fronts"), &raw.fronts),
+            state,
+        }
     }
 }
 
@@ -233,8 +255,8 @@
 
     fn see(&mut self, path: &str, raw: &schema::See) -> Step {
         let claim = Claim::See {
-            at: self.fronts(&format!("{path}.at"), &raw.at),
-            of: self.fronts(&format!("{path}.of"), &raw.of),
+            viewers: self.fronts(&format!("{path}.at"), &raw.at),
+            viewed: self.fronts(&format!("{path}.of"), &raw.of),
             state: self.member_state(path, raw.state()),
             bound: self.bound(path, raw.bound.as_ref()),
         };
@@ -257,12 +279,15 @@
 
     fn accused(&mut self, path: &str, raw: &schema::Accused) -> Step {
         let claim = Claim::Accused {
-            by: self.fronts(&format!("{path}.by"), &raw.by),
-            but: self.fronts(&format!("{path}.but"), or_default(&raw.but, "none")),
-            most: raw.most,
-            per_front: self
-                .checks
-                .within(&format!("{path}.a_front"), raw.a_front, 0.0, 1000.0),
+            accusers: self.fronts(&format!("{path}.by"), &raw.by),
+            except: self.fronts(&format!("{path}.but"), or_default(&raw.but, "none")),
+            allowed: raw.most,
+            allowed_per_front: self.checks.within(
+                &format!("{path}.a_front"),
+                raw.a_front,
+                0.0,
+                1000.0,
+            ),
         };
         self.claim(path, &raw.claim, claim)
     }
@@ -283,7 +308,7 @@
             }
         };
         let claim = Claim::LocalHealth {
-            at: self.fronts(&format!("{path}.at"), &raw.at),
+            fronts: self.fronts(&format!("{path}.at"), &raw.at),
             health,
             bound: self.bound(path, raw.bound.as_ref()),
         };
@@ -292,8 +317,8 @@
 
     fn restarted(&mut self, path: &str, raw: &schema::News) -> Step {
         let claim = Claim::Restarted {
-            at: self.fronts(&format!("{path}.at"), &raw.at),
-            of: self.fronts(&format!("{path}.of"), &raw.of),
+            viewers: self.fronts(&format!("{path}.at"), &raw.at),
+            restarted: self.fronts(&format!("{path}.of"), &raw.of),
             bound: self.bound(path, raw.bound.as_ref()),
         };
         self.claim(path, &raw.claim, claim)
@@ -314,9 +339,7 @@
         let claim = Claim::EntryKnown {
             part: self.part(&format!("{path}.part"), raw.part),
             bound: self.bound(path, raw.bound.as_ref()),
-            max_age_error: self
-                .checks
-                .time(&format!("{path}.age_within"), &raw.age_within),
+            max_age_error: self.time(&format!("{path}.age_within"), &raw.age_within),
         };
         self.claim(path, &raw.claim, claim)
     }
--- a/crates/fault-simulation/src/simulated_network.rs
+++ b/crates/fault-simulation/src/simulated_network.rs
@@ -4,19 +4,21 @@
 mod records;
 
 pub use member_config::{front_name, front_number, member_config};
-pub use records::{ChangeRecord, HealthRecord, SentDatagram};
+pub use records::{Accusation, ChangeRecord, HealthRecord, SentDatagram};
 
 use crate::cluster;
 use crate::event_queue::EventQueue;
 use crate::network_conditions::{Link, NetworkConditions};
+use crate::process_state::ProcessState;
 use crate::scenario::Case;
-use crate::simulated_process::{SOCKET_BACKLOG, START_OF_TIME, USUAL_DELAY};
-use crate::MS;
+use crate::simulated_process::{SentCounts, START_OF_TIME, USUAL_DELAY};
 use crankpaddle_membership::{MemberState, Membership, MembershipConfig, Output};
+use crankpaddle_time::Time;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// Time between two looks at whether a condition holds.
-const POLL_INTERVAL: u64 = 50 * MS;
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// The epoch of restarted processes: their host's clock was set back.
 const RESTART_EPOCH: u64 = 500_000;
 /// Incarnations of restarted processes are counted from here on.
@@ -31,27 +33,16 @@
 pub struct SimulatedNode {
     /// Its state machine.
     pub membership: Membership,
-    /// Whether it runs, paused or not.
-    pub is_running: bool,
-    /// Whether it is paused.
-    pub is_paused: bool,
+    process: ProcessState<SentDatagram>,
     address: String,
     seeds: Vec<usize>,
-    backlog: Vec<SentDatagram>, // Received while it was paused.
-    expiry: u64,                // Of the timer that is scheduled.
-}
-
-/// What previous incarnations of a process sent.
-#[derive(Clone, Copy, Default)]
-struct SentBefore {
-    datagrams: u64,
-    bytes: u64,
+    expiry: Time, // Of the timer that is scheduled.
 }
 
 /// The network and the processes on it.
 pub struct SimulatedNetwork {
-    /// The virtual clock, nanoseconds.
-    pub now: u64,
+    /// The virtual clock.
+    pub now: Time,
     /// The processes, by number.
     pub nodes: Vec<SimulatedNode>,
     /// Changes of members' views, in order.
@@ -69,13 +60,13 @@
     numbers: BTreeMap<String, usize>, // By address.
     last_write: Option<LastWrite>,
     restarts: u64,
-    sent_before: Vec<SentBefore>,
+    sent_before: Vec<SentCounts>, // By previous incarnations.
 }
 
 /// The entry that was written last.
 struct LastWrite {
     node: usize,
-    at: u64,
+    at: Time,
 }
 
 impl SimulatedNetwork {
@@ -116,7 +107,9 @@
         let seeds = case.seeds.of(fronts);
         for number in 0..fronts {
             network.start(member_config(number, &seeds));
-            network.nodes[number].is_running = case.first.has(number, fronts);
+            if !case.first.has(number, fronts) {
+                network.kill(number);
+            }
         }
         network
     }
@@ -132,12 +125,10 @@
         let membership = Membership::new(config, self.rng.rand_u64(), self.now);
         let node = SimulatedNode {
             membership,
-            is_running: true,
-            is_paused: false,
+            process: ProcessState::new(true),
             address: address.clone(),
             seeds,
-            backlog: Vec::new(),
-            expiry: u64::MAX,
+            expiry: Time::MAX,
         };
         let number = match self.numbers.get(&address).copied() {
             Some(number) => self.replace(number, node),
@@ -148,10 +139,7 @@
     }
 
     fn replace(&mut self, number: usize, node: SimulatedNode) -> usize {
-        let counters = self.nodes[number].membership.counters();
-        let sent_before = &mut self.sent_before[number];
-        sent_before.datagrams += counters.datagrams_sent;
-        sent_before.bytes += counters.bytes_sent;
+        self.sent_before[number] = self.sent_counts(number);
         self.nodes[number] = node;
         number
     }
@@ -159,16 +147,16 @@
     fn add(&mut self, address: String, node: SimulatedNode) -> usize {
         let number = self.nodes.len();
         self.nodes.push(node);
-        self.sent_before.push(SentBefore::default());
+        self.sent_before.push(SentCounts::default());
         self.numbers.insert(address, number);
         number
     }
 
-    /// Has a member do something, and carries out its outputs.
+    /// Calls a member's state machine, and carries out its outputs.
     pub fn with_member<T>(
         &mut self,
         number: usize,
-        action: impl FnOnce(&mut Membership, u64, &mut Vec<Output>) -> T,
+        action: impl FnOnce(&mut Membership, Time, &mut Vec<Output>) -> T,
     ) -> T {
         let mut out = Vec::new();
         let result = action(&mut self.nodes[number].membership, self.now, &mut out);
@@ -226,14 +214,14 @@
     fn schedule_expiry(&mut self, number: usize) {
         let node = &mut self.nodes[number];
         let at = node.membership.next_expiry().max(self.now);
-        if at != node.expiry && at < u64::MAX {
+        if at != node.expiry && at < Time::MAX {
             node.expiry = at;
             self.queue.schedule(at, Event::Expiry { node: number });
         }
     }
 
     /// Lets virtual time pass.
-    pub fn advance(&mut self, time: u64) {
+    pub fn advance(&mut self, time: Duration) {
         let until = self.now + time;
         while let Some((at, event)) = self.queue.pop_until(until) {
             self.now = self.now.max(at);
@@ -246,25 +234,20 @@
     }
 
     /// Runs a member's timers, unless the event was overtaken by another one.
-    fn expire(&mut self, number: usize, at: u64) {
+    fn expire(&mut self, number: usize, at: Time) {
         let node = &mut self.nodes[number];
-        if node.is_running && !node.is_paused && node.expiry == at {
-            node.expiry = u64::MAX;
+        let can_run = node.process.is_running() && !node.process.is_paused();
+        if can_run && node.expiry == at {
+            node.expiry = Time::MAX;
             self.with_member(number, Membership::expire);
         }
     }
 
     fn deliver(&mut self, datagram: SentDatagram) {
-        let receiver = &mut self.nodes[datagram.to];
-        if !receiver.is_running {
-            return;
-        }
-        if receiver.is_paused {
-            if receiver.backlog.len() < SOCKET_BACKLOG {
-                receiver.backlog.push(datagram);
-            }
+        let receiver = &mut self.nodes[datagram.to].process;
+        let Some(datagram) = receiver.accept(datagram) else {
             return;
-        }
+        };
         let from = self.nodes[datagram.from].address.clone();
         self.with_member(datagram.to, |member, now, out| {
             member.receive(now, &from, &datagram.bytes, out);
@@ -273,52 +256,64 @@
 
     /// Ends a process without notice.
     pub fn kill(&mut self, number: usize) {
-        self.nodes[number].is_running = false;
+        self.nodes[number].process.kill();
     }
 
     /// Pauses a process.
     pub fn pause(&mut self, number: usize) {
-        self.nodes[number].is_paused = true;
+        self.nodes[number].process.pause();
     }
 
     /// Resumes a process: what its socket buffered is received first, then its timers run.
     pub fn resume(&mut self, number: usize) {
-        self.nodes[number].is_paused = false;
-        for datagram in std::mem::take(&mut self.nodes[number].backlog) {
+        for datagram in self.nodes[number].process.resume() {
             self.deliver(datagram);
         }
         self.with_member(number, Membership::expire);
     }
 
-    /// Whether each of `at` sees each of `of` (but itself) in this state.
+    /// What a process sent, its previous incarnations included.
+    fn sent_counts(&self, number: usize) -> SentCounts {
+        let counters = self.nodes[number].membership.counters();
+        let current = SentCounts {
+            datagrams: counters.datagrams_sent,
+            bytes: counters.bytes_sent,
+        };
+        self.sent_before[number] + current
+    }
+
+    /// Whether each viewer sees each viewed front (except itself) in this state.
     #[must_use]
-    pub fn all_see(&self, at: &[usize], of: &[usize], state: MemberState) -> bool {
-        cluster::all_see(self, at, of, state)
+    pub fn all_see(&self, viewers: &[usize], viewed: &[usize], state: MemberState) -> bool {
+        cluster::all_see(self, viewers, viewed, state)
     }
 
     /// Advances until a condition holds; how long it took.
     pub fn advance_until(
         &mut self,
-        within: u64,
+        within: Duration,
         holds: impl Fn(&SimulatedNetwork) -> bool,
-    ) -> Option<u64> {
+    ) -> Option<Duration> {
         let started = self.now;
-        while self.now - started <= within {
+        while self.now.duration_since(started) <= within {
             if holds(self) {
-                return Some(self.now - started);
+                return Some(self.now.duration_since(started));
             }
             self.advance(POLL_INTERVAL);
         }
         None
     }
 
-    /// Members that were declared dead from a time on, each with the number of the member that saw it so.
+    /// The members' views that changed to dead from a time on, in order.
     #[must_use]
-    pub fn accusations(&self, from: u64) -> Vec<(usize, String)> {
+    pub fn accusations(&self, from: Time) -> Vec<Accusation> {
         self.changes
             .iter()
             .filter(|record| record.at >= from && record.change.state == MemberState::Dead)
-            .map(|record| (record.by, record.change.name.clone()))
+            .map(|record| Accusation {
+                by: record.by,
+                accused: record.change.name.clone(),
+            })
             .collect()
     }
 }
--- a/crates/fault-simulation/tests/claims.rs
+++ b/crates/fault-simulation/tests/claims.rs
@@ -1,18 +1,20 @@
 //! The checks of claims are tested: for each kind a cluster in which it holds, and the nearest one in which it does not.
 use crankpaddle_fault_simulation::{
-    parse, play, Act, ActionError, Cluster, Entry, MemberTransition, Rate, MS,
+    parse, play, Action, ActionError, Cluster, EntryAge, MemberTransition, SendRate, MS,
 };
 use crankpaddle_membership::{LocalHealth, MemberState};
+use crankpaddle_time::Time;
+use std::time::Duration;
 
-/// A cluster whose history is given: who sees whom in which state from when on, and everything else likewise.
+/// A cluster whose history is given: from when on each front sees each other in which state, and everything else likewise.
 #[derive(Default)]
 struct ScriptedCluster {
-    now: u64,
+    now: Time,
     fronts: usize,
     transitions: Vec<MemberTransition>,
     health_changes: Vec<HealthChange>,
     entries: Vec<KnownEntry>,
-    acts: Vec<Act>,
+    actions: Vec<Action>,
 }
 
 impl Cluster for ScriptedCluster {
@@ -20,21 +22,22 @@
         self.fronts
     }
 
-    fn now(&self) -> u64 {
+    fn now(&self) -> Time {
         self.now
     }
 
-    fn run(&mut self, time: u64) {
+    fn run(&mut self, time: Duration) {
         self.now += time;
     }
 
-    fn act(&mut self, act: &Act) -> Result<(), ActionError> {
-        self.acts.push(act.clone());
+    fn act(&mut self, action: &Action) -> Result<(), ActionError> {
+        self.actions.push(action.clone());
         Ok(())
     }
 
-    fn state(&self, at: usize, of: usize) -> Option<MemberState> {
-        let known = |t: &&MemberTransition| t.at <= self.now && (t.by, t.of) == (at, of);
+    fn state(&self, viewer: usize, viewed: usize) -> Option<MemberState> {
+        let known =
+            |t: &&MemberTransition| t.at <= self.now && (t.viewer, t.viewed) == (viewer, viewed);
         self.transitions
             .iter()
             .rfind(known)
@@ -49,7 +52,7 @@
             .map(|change| change.health)
     }
 
-    fn transitions(&self, from: u64) -> Vec<MemberTransition> {
+    fn transitions(&self, from: Time) -> Vec<MemberTransition> {
         self.transitions
             .iter()
             .filter(|t| (from..=self.now).contains(&t.at))
@@ -57,40 +60,40 @@
             .collect()
     }
 
-    fn entry(&self, at: usize) -> Option<Entry> {
+    fn entry_age(&self, reader: usize) -> Option<EntryAge> {
         let entry = self
             .entries
             .iter()
-            .find(|entry| entry.at <= self.now && entry.front == at)?;
-        Some(Entry {
-            reported_age: self.now,
-            actual_age: self.now + entry.age_error,
+            .find(|entry| entry.at <= self.now && entry.front == reader)?;
+        Some(EntryAge {
+            reported: self.now.duration_since(Time(0)),
+            actual: self.now.duration_since(Time(0)) + entry.age_error,
         })
     }
 
-    fn sent(&self) -> Rate {
-        (0.0, 0.0)
+    fn sent(&self) -> SendRate {
+        SendRate::default()
     }
 }
 
 struct HealthChange {
-    at: u64,
+    at: Time,
     front: usize,
     health: LocalHealth,
 }
 
 /// An entry that a front knows from a time on, with the error of its age.
 struct KnownEntry {
-    at: u64,
+    at: Time,
     front: usize,
-    age_error: u64,
+    age_error: Duration,
 }
 
-fn health_change(at: u64, front: usize, health: LocalHealth) -> HealthChange {
+fn health_change(at: Time, front: usize, health: LocalHealth) -> HealthChange {
     HealthChange { at, front, health }
 }
 
-fn known_entry(at: u64, front: usize, age_error: u64) -> KnownEntry {
+fn known_entry(at: Time, front: usize, age_error: Duration) -> KnownEntry {
     KnownEntry {
         at,
         front,
@@ -98,11 +101,11 @@
     }
 }
 
-fn transition(at: u64, by: usize, of: usize, state: MemberState) -> MemberTransition {
+fn transition(at: u32, viewer: usize, viewed: usize, state: MemberState) -> MemberTransition {
     MemberTransition {
-        at: at * MS,
-        by,
-        of,
+        at: Time(0) + at * MS,
+        viewer,
+        viewed,
         state,
         restarted: false,
     }
@@ -121,7 +124,7 @@
 #[test]
 fn a_view_claim_holds_in_time_and_fails_through_a_single_front() {
     let step = r#"see { claim: "c" at: "!3" of: "3" state: GONE bound { within: "1s" } }"#;
-    let gone = |times: [u64; 3]| ScriptedCluster {
+    let gone = |times: [u32; 3]| ScriptedCluster {
         transitions: (0..3)
             .map(|by| transition(times[by], by, 3, MemberState::Dead))
             .collect(),
@@ -150,7 +153,7 @@
     let step = |more: &str| format!(r#"accused {{ claim: "c" by: "0-1" but: "3" {more} }}"#);
     let of = |transitions: Vec<MemberTransition>| ScriptedCluster {
         transitions,
-        now: 10,
+        now: Time(10),
         ..ScriptedCluster::default()
     };
     assert!(
@@ -202,15 +205,15 @@
     assert!(holds(
         health,
         of(vec![
-            health_change(0, 0, LocalHealth::Isolated),
-            health_change(1900 * MS, 1, LocalHealth::Isolated)
+            health_change(Time(0), 0, LocalHealth::Isolated),
+            health_change(Time(0) + 1900 * MS, 1, LocalHealth::Isolated)
         ])
     ));
     assert!(!holds(
         health,
         of(vec![
-            health_change(0, 0, LocalHealth::Isolated),
-            health_change(0, 1, LocalHealth::Degraded)
+            health_change(Time(0), 0, LocalHealth::Isolated),
+            health_change(Time(0), 1, LocalHealth::Degraded)
         ])
     ));
 
@@ -237,15 +240,21 @@
     assert!(holds(
         known,
         of(vec![
-            known_entry(0, 1, 0),
-            known_entry(1500 * MS, 2, 100 * MS)
+            known_entry(Time(0), 1, Duration::ZERO),
+            known_entry(Time(0) + 1500 * MS, 2, 100 * MS)
         ])
     ));
-    assert!(!holds(known, of(vec![known_entry(0, 1, 0)])), "too few");
+    assert!(
+        !holds(known, of(vec![known_entry(Time(0), 1, Duration::ZERO)])),
+        "too few"
+    );
     assert!(
         !holds(
             known,
-            of(vec![known_entry(0, 1, 0), known_entry(0, 2, 300 * MS)])
+            of(vec![
+                known_entry(Time(0), 1, Duration::ZERO),
+                known_entry(Time(0), 2, 300 * MS)
+            ])
         ),
         "an age is wrong"
     );
@@ -263,10 +272,14 @@
     play(&case, &mut cluster).unwrap();
     assert!(
         matches!(
-            cluster.acts[..],
-            [Act::Kill(_), Act::Heal, Act::Flood(_, 3)]
+            cluster.actions[..],
+            [
+                Action::Kill(_),
+                Action::Heal,
+                Action::Flood { copies: 3, .. }
+            ]
         ),
         "{:?}",
-        cluster.acts
+        cluster.actions
     );
 }
--- a/crates/membership/src/membership/output.rs
+++ b/crates/membership/src/membership/output.rs
@@ -1,6 +1,8 @@
 //! What the state machine gives out: actions to carry out, and the members as an operator sees them.
 use crate::local_health::LocalHealth;
 use crate::member_state::MemberState;
+use crankpaddle_time::Time;
+use std::time::Duration;
 
 /// An action to carry out, or a change to report; to be handled in order.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -27,8 +29,8 @@
     pub name: String,
     /// Its state now.
     pub state: MemberState,
-    /// Who reported it: a member's name, this member's own where it found out itself.
-    pub by: String,
+    /// The name of the member that found the change; this member's own name where it did itself.
+    pub reported_by: String,
     /// Whether it is another incarnation than before.
     pub restarted: bool,
 }
@@ -42,10 +44,10 @@
     pub address: String,
     /// Its state.
     pub state: MemberState,
-    /// When it entered this state, nanoseconds of this member's clock.
-    pub since: u64,
-    /// Who reported the state.
-    pub by: String,
-    /// The round-trip time of its last acknowledged probe, nanoseconds.
-    pub rtt: Option<u64>,
+    /// When it entered this state, by this member's clock.
+    pub since: Time,
+    /// The name of the member that found it in this state.
+    pub reported_by: String,
+    /// The round-trip time of its last acknowledged probe.
+    pub rtt: Option<Duration>,
 }
--- a/crates/membership/src/membership/own_identity.rs
+++ b/crates/membership/src/membership/own_identity.rs
@@ -1,34 +1,36 @@
 //! This member's own version: refutation of suspicions, and conflicts over its name.
-use super::{Membership, Output, Participation, SECOND};
+use super::{Membership, Output, Participation};
 use crate::local_health::LocalHealth;
 use crate::member_state::{MemberState, MemberVersion};
+use crankpaddle_time::Time;
+use std::time::Duration;
 
-/// Right after the start, another process under this member's name is taken for its previous incarnation.
-const STARTUP_PERIOD: u64 = 10 * SECOND;
+/// For this long after the start, another process under this member's name is assumed to be its previous incarnation.
+const STARTUP_PERIOD: Duration = Duration::from_secs(10);
 /// Conflicts over the name after which the other process keeps it ...
 const MAX_CONFLICTS: u32 = 2;
 /// ... if they happen within this time.
-const CONFLICT_WINDOW: u64 = 60 * SECOND;
-/// A count of refutations or writes that no honest process comes near.
+const CONFLICT_WINDOW: Duration = Duration::from_secs(60);
+/// Counts of refutations or writes from here on are taken for forged: no process reaches them.
 pub(super) const IMPLAUSIBLE_COUNT: u32 = u32::MAX / 2;
 
 /// Conflicts over this member's name that it lost, within a window of time.
 #[derive(Clone)]
 pub(super) struct NameConflicts {
     count: u32,
-    window_start: u64,
+    window_start: Time,
 }
 
 impl NameConflicts {
-    pub(super) fn new(now: u64) -> NameConflicts {
+    pub(super) fn new(now: Time) -> NameConflicts {
         NameConflicts {
             count: 0,
             window_start: now,
         }
     }
 
-    fn record(&mut self, now: u64) {
-        if now.saturating_sub(self.window_start) > CONFLICT_WINDOW {
+    fn record(&mut self, now: Time) {
+        if now.duration_since(self.window_start) > CONFLICT_WINDOW {
             *self = NameConflicts::new(now);
         }
         self.count += 1;
@@ -39,7 +41,7 @@
     /// Handles what others report of this member: a suspicion is refuted, another incarnation is a conflict over the name.
     pub(super) fn handle_update_of_self(
         &mut self,
-        now: u64,
+        now: Time,
         reported: MemberVersion,
         out: &mut Vec<Output>,
     ) {
@@ -65,7 +67,7 @@
         }
     }
 
-    fn refute(&mut self, now: u64, reported_refutations: u32) {
+    fn refute(&mut self, now: Time, reported_refutations: u32) {
         self.own_version.refutations = reported_refutations + 1;
         self.local_health_monitor.worsen();
         self.enqueue_own_version(now);
@@ -75,11 +77,11 @@
     ///
     /// Right after a start it is the previous incarnation, on a clock that was ahead: the epoch is raised above it. Why not
     /// always: two processes that are configured under one name would raise theirs in turn for ever. The one that has run for
-    /// longer gives way, and reports that. A malicious peer that keeps forging conflicts can thereby silence a front's gossip;
-    /// the front's own limits do not depend on it.
+    /// longer gives up the name, and reports that. A malicious peer that keeps forging conflicts can thereby silence a front's
+    /// gossip; the front's own limits do not depend on it.
     pub(super) fn handle_name_conflict(
         &mut self,
-        now: u64,
+        now: Time,
         other: MemberVersion,
         out: &mut Vec<Output>,
     ) {
@@ -89,7 +91,7 @@
             return;
         }
         self.name_conflicts.record(now);
-        let is_established = now.saturating_sub(self.started_at) >= STARTUP_PERIOD;
+        let is_established = now.duration_since(self.started_at) >= STARTUP_PERIOD;
         if is_established && self.name_conflicts.count >= MAX_CONFLICTS {
             self.give_up_name(out);
             return;
@@ -104,7 +106,7 @@
     }
 
     /// Raises the own epoch; the own entries are written again under it.
-    pub(super) fn advance_epoch(&mut self, now: u64, epoch: u64) {
+    pub(super) fn advance_epoch(&mut self, now: Time, epoch: u64) {
         self.own_version.epoch = epoch;
         self.own_version.refutations = 0;
         self.enqueue_own_version(now);
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -25,8 +25,8 @@
 use arrivals::Arrivals;
 pub use cost::Cost;
 use crankpaddle_fault_simulation::{
-    play, Act, ActionError, Case, CaseResult, Cluster, DelayRange, Entry, Fronts, MemberTransition,
-    Rate, RecoveryProgress,
+    play, Action, ActionError, Build, Case, CaseResult, Cluster, DelayRange, EntryAge, Fronts,
+    MemberTransition, RecoveryProgress, SendRate,
 };
 use crankpaddle_membership::{LocalHealth, MemberState};
 use crankpaddle_net::clock;
@@ -113,45 +113,50 @@
         self.processes.len()
     }
 
-    fn now(&self) -> u64 {
-        clock::now().as_nanos()
+    fn now(&self) -> Time {
+        clock::now()
     }
 
-    fn run(&mut self, time: u64) {
-        std::thread::sleep(Duration::from_nanos(time));
+    fn run(&mut self, time: Duration) {
+        std::thread::sleep(time);
     }
 
-    fn act(&mut self, act: &Act) -> Result<(), ActionError> {
+    fn act(&mut self, action: &Action) -> Result<(), ActionError> {
         let size = self.processes.len();
         let of = |fronts: &Fronts| fronts.of(size);
-        match act {
-            Act::Start(fronts) => self.start(&of(fronts)).map_err(ActionError::Io)?,
-            Act::Kill(fronts) => self.kill(&of(fronts)).map_err(ActionError::Io)?,
-            Act::End(fronts) => {
+        match action {
+            Action::Start(fronts) => self.start(&of(fronts)).map_err(ActionError::Io)?,
+            Action::Kill(fronts) => self.kill(&of(fronts)).map_err(ActionError::Io)?,
+            Action::ShutDown(fronts) => {
                 let faults = self.end(&of(fronts)).map_err(ActionError::Io)?;
                 if !faults.is_empty() {
                     return Err(ActionError::Faults(faults));
                 }
             }
-            Act::Stop(fronts) => self.stop(&of(fronts), true),
-            Act::GoOn(fronts) => self.stop(&of(fronts), false),
-            Act::Restart(fronts, after) => {
+            Action::Pause(fronts) => self.stop(&of(fronts), true),
+            Action::Resume(fronts) => self.stop(&of(fronts), false),
+            Action::Restart { fronts, after } => {
                 let which = of(fronts);
                 self.kill(&which).map_err(ActionError::Io)?;
                 self.run(*after);
                 self.start(&which).map_err(ActionError::Io)?;
             }
-            Act::Net { .. } | Act::Cut { .. } | Act::Heal | Act::Flood(..) => {
-                let act = act.clone();
+            Action::SetNetwork { .. }
+            | Action::Partition { .. }
+            | Action::Heal
+            | Action::Flood { .. } => {
+                let action = action.clone();
                 self.network.change(move |net| {
-                    net.act(&act, size, DelayRange { min: 0, max: 0 });
+                    net.act(&action, size, DelayRange::NONE);
                 });
             }
-            Act::Runs(fronts, other) => {
-                of(fronts).into_iter().for_each(|i| self.others[i] = *other);
+            Action::SelectBuild { fronts, build } => {
+                for front in of(fronts) {
+                    self.others[front] = *build == Build::Other;
+                }
             }
-            Act::Power(power) => self.power(power).map_err(ActionError::Io)?,
-            Act::Write(_) => {
+            Action::Host(action) => self.power(action).map_err(ActionError::Io)?,
+            Action::WriteEntry { .. } => {
                 let what = "no front writes on the board yet; play it with --virtual";
                 return Err(ActionError::Unsupported(what.to_owned()));
             }
@@ -167,11 +172,11 @@
         self.membership_poll.local_health(at)
     }
 
-    fn transitions(&self, from: u64) -> Vec<MemberTransition> {
+    fn transitions(&self, from: Time) -> Vec<MemberTransition> {
         self.membership_poll.state_changes(from)
     }
 
-    fn entry(&self, _: usize) -> Option<Entry> {
+    fn entry_age(&self, _: usize) -> Option<EntryAge> {
         None
     }
 
@@ -185,22 +190,25 @@
         })
     }
 
-    fn warm_up_time(&self, sessions: f64) -> Option<u64> {
-        self.hosts.as_ref()?.warming(&self.stage.config, sessions)
+    fn warm_up_time(&self, sessions: f64) -> Option<Duration> {
+        let hosts = self.hosts.as_ref()?;
+        let time = hosts.warming(&self.stage.config, sessions)?;
+        Some(Duration::from_nanos(time))
     }
 
-    fn sent(&self) -> Rate {
+    fn sent(&self) -> SendRate {
         let elapsed = nanoseconds(clock::now().duration_since(self.began)).max(1);
         let time = elapsed as f64 / NANOSECONDS_PER_SECOND as f64;
         let rate = |front| {
             let sent = self.network.sent(front);
-            (sent.datagrams as f64 / time, sent.bytes as f64 / time)
+            SendRate {
+                datagrams: sent.datagrams as f64 / time,
+                bytes: sent.bytes as f64 / time,
+            }
         };
         (0..self.processes.len())
             .map(rate)
-            .fold((0.0, 0.0), |most: Rate, front: Rate| {
-                (most.0.max(front.0), most.1.max(front.1))
-            })
+            .fold(SendRate::default(), SendRate::max)
     }
 }
 
