Node tests: a test's name says what it shows again

An automatic renaming of the word "elsewhere" reached into the name of a test of races with the list: it read "goes_other_deployment". It is "goes_elsewhere" again. No assertion changes; not run, as only the name differs.

--- a/crates/node/tests/races_endpoint_list.rs
+++ b/crates/node/tests/races_endpoint_list.rs
@@ -7,7 +7,7 @@
 use support::*;
 
 #[test]
-fn a_set_up_that_waits_for_a_connect_to_a_draining_server_goes_other_deployment() {
+fn a_set_up_that_waits_for_a_connect_to_a_draining_server_goes_elsewhere() {
     let _alone = alone();
     let harness = start_with_one_draining();
     let ConnectInProgress {
