--- a/crates/node/src/connection_table.rs
+++ b/crates/node/src/connection_table.rs
@@ -1,6 +1,7 @@
 //! All viewers' connections, and which of them is closed when there are too many.
 use crate::viewer_connection::{ConnectionId, UnreadInput, ViewerConnection};
 use crankpaddle_net::clock;
+use crankpaddle_time::Time;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -66,7 +67,7 @@
     }
 
     /// Whether anything is pending on any connection, or may be on those that wait to be accepted where no slot is free.
-    pub(crate) fn has_pending_work(&self, now: u64, unread: UnreadInput) -> bool {
+    pub(crate) fn has_pending_work(&self, now: Time, unread: UnreadInput) -> bool {
         if unread == UnreadInput::Include && self.is_full.load(Ordering::Acquire) {
             return true;
         }
@@ -92,7 +93,7 @@
         {
             return;
         }
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         let least_used = connections
             .values()
             .filter(|connection| !connection.has_pending_work(now, UnreadInput::Include))
@@ -100,7 +101,7 @@
             .min_by_key(|connection| {
                 (
                     connection.has_sent_message.load(Ordering::Relaxed),
-                    connection.last_used.load(Ordering::Relaxed),
+                    connection.last_used(),
                 )
             });
         if let Some(connection) = least_used {
--- a/crates/node/src/connection_table/tests.rs
+++ b/crates/node/src/connection_table/tests.rs
@@ -25,7 +25,7 @@
     let connection = Arc::new(ViewerConnection::new(
         ConnectionId(id),
         WriteBuffer::new(Arc::new(socket), 1024),
-        id,
+        Time(id),
     ));
     connection
         .has_sent_message
@@ -85,9 +85,9 @@
     let connection = ViewerConnection::new(
         ConnectionId(1),
         WriteBuffer::new(socket.clone(), 64 << 20),
-        0,
+        Time(0),
     );
-    let pending = |unread| connection.has_pending_work(5, unread);
+    let pending = |unread| connection.has_pending_work(Time(5), unread);
     assert!(!pending(UnreadInput::Include));
     connection.queued_messages.store(1, Ordering::Relaxed);
     assert!(
@@ -121,8 +121,9 @@
 fn what_is_unsent_is_pending_work_until_its_viewer_has_timed_out() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let (socket, mut peer) = small_buffer_pair(&listener);
-    let connection = ViewerConnection::new(ConnectionId(1), WriteBuffer::new(socket, 64 << 20), 0);
-    connection.extend_output_deadline(10);
+    let connection =
+        ViewerConnection::new(ConnectionId(1), WriteBuffer::new(socket, 64 << 20), Time(0));
+    connection.extend_output_deadline(Time(10));
     while connection.outbox.is_empty() {
         assert!(
             connection.outbox.push(&[b'x'; 4096]),
@@ -130,11 +131,11 @@
         );
     }
     assert!(
-        connection.has_pending_work(5, UnreadInput::Ignore),
+        connection.has_pending_work(Time(5), UnreadInput::Ignore),
         "an answer that a slow reader has not taken"
     );
     assert!(
-        !connection.has_pending_work(10, UnreadInput::Ignore),
+        !connection.has_pending_work(Time(10), UnreadInput::Ignore),
         "its viewer has timed out"
     );
     let mut piece = [0u8; 65_536];
@@ -142,7 +143,7 @@
         assert!(peer.read(&mut piece).unwrap() > 0);
     }
     assert!(
-        !connection.has_pending_work(5, UnreadInput::Include),
+        !connection.has_pending_work(Time(5), UnreadInput::Include),
         "it is on its way"
     );
 }
@@ -158,7 +159,7 @@
     let connection = Arc::new(ViewerConnection::new(
         ConnectionId(1),
         WriteBuffer::new(socket.clone(), 1024),
-        0,
+        Time(0),
     ));
     table.insert(&connection);
     peer.write_all(b"{").unwrap();
@@ -180,13 +181,15 @@
 fn the_deadline_of_a_partial_message_leaves_time_for_pending_set_ups() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let (socket, _peer) = small_buffer_pair(&listener);
-    let connection = ViewerConnection::new(ConnectionId(1), WriteBuffer::new(socket, 1024), 0);
-    connection.extend_output_deadline(100);
-    assert_eq!(connection.message_deadline(5, 10), 15);
+    let connection =
+        ViewerConnection::new(ConnectionId(1), WriteBuffer::new(socket, 1024), Time(0));
+    connection.extend_output_deadline(Time(100));
+    let timeout = Duration::from_nanos(10);
+    assert_eq!(connection.message_deadline(Time(5), timeout), Time(15));
     connection.pending_set_ups.store(1, Ordering::Relaxed);
     assert_eq!(
-        connection.message_deadline(5, 10),
-        110,
+        connection.message_deadline(Time(5), timeout),
+        Time(110),
         "its answer comes first"
     );
 }
--- a/crates/node/src/event_loop/attempt.rs
+++ b/crates/node/src/event_loop/attempt.rs
@@ -24,9 +24,9 @@
     /// It waits for this link to come up; nothing was written.
     AwaitingLink(LinkId),
     /// Its set-up was written and has no answer.
-    Sent { link: LinkId, sent_at: u64 },
+    Sent { link: LinkId, sent_at: Time },
     /// The server accepted it. Adopted sessions have no link of their own.
-    Established { link: Option<LinkId>, sent_at: u64 },
+    Established { link: Option<LinkId>, sent_at: Time },
 }
 
 impl AttemptState {
@@ -62,7 +62,7 @@
     }
 
     /// Whether its session was established by a set-up that was sent at a time of which this holds.
-    pub(super) fn is_established_and_sent(self, when: impl Fn(u64) -> bool) -> bool {
+    pub(super) fn is_established_and_sent(self, when: impl Fn(Time) -> bool) -> bool {
         matches!(self, AttemptState::Established { sent_at, .. } if when(sent_at))
     }
 
--- a/crates/node/src/event_loop/attempt_dispatch.rs
+++ b/crates/node/src/event_loop/attempt_dispatch.rs
@@ -4,7 +4,8 @@
 //! all that was received has been decided on, each checked right before: whether its viewer still waits, as far as the kernel
 //! knows, and whether the core still lets it go.
 use super::attempt::{Attempt, AttemptState};
-use super::{EventLoop, MILLISECOND};
+use super::wire_time::whole_milliseconds;
+use super::EventLoop;
 use crate::shared::LinkId;
 use crankpaddle_front::{
     AttemptId, AttemptOutcome, Input, LoadReport, ServerId, SetUpOrder, SetUpResult, Time,
@@ -12,6 +13,7 @@
 use crankpaddle_net::{clock, Peer};
 use crankpaddle_node_protocol::{rtsp, Tag};
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 /// An attempt in the dispatch queue.
 pub(super) struct QueuedAttempt {
@@ -19,14 +21,14 @@
     /// The link that came up for it.
     link: Option<LinkId>,
     /// Since when it could be dispatched.
-    ready_since: u64,
+    ready_since: Time,
 }
 
 /// While more of its viewer's connection is to be read, a set-up is deferred for so long at most: a tenth of a second after a
 /// viewer has gone none may begin, and the viewer's last message may lie behind much else.
-const MAX_DEFERRAL: u64 = 50 * MILLISECOND;
+const MAX_DEFERRAL: Duration = Duration::from_millis(50);
 /// Deferred set-ups are checked again after this time, in which all sockets are read.
-pub(super) const RECHECK_INTERVAL: u64 = MILLISECOND;
+pub(super) const RECHECK_INTERVAL: Duration = Duration::from_millis(1);
 /// How often a link is looked for, for one set-up of which nothing was written.
 const MAX_CONNECT_ATTEMPTS: u32 = 2;
 /// Links to one server at most, each with one set-up in progress; beyond, set-ups share links.
@@ -87,7 +89,7 @@
         self.dispatch_queue.push_back(QueuedAttempt {
             attempt: id,
             link,
-            ready_since: clock::now().as_nanos(),
+            ready_since: clock::now(),
         });
     }
 
@@ -124,8 +126,8 @@
         if attempt.state.is_sent() {
             return None;
         }
-        let now = clock::now().as_nanos();
-        if !self.core.may_send(Time(now), queued.attempt) {
+        let now = clock::now();
+        if !self.core.may_send(now, queued.attempt) {
             return Some(DispatchDecision::Withdraw);
         }
         let session = self.sessions.get(&attempt.player)?;
@@ -134,9 +136,7 @@
         Some(match connection.outbox.socket().peer_state() {
             Peer::Ended => DispatchDecision::Defer, // Its reader is about to find that it ended.
             Peer::Quiet if !has_queued_messages => DispatchDecision::Dispatch,
-            _ if now >= queued.ready_since.saturating_add(MAX_DEFERRAL) => {
-                DispatchDecision::Dispatch
-            }
+            _ if now >= queued.ready_since + MAX_DEFERRAL => DispatchDecision::Dispatch,
             _ => DispatchDecision::Defer,
         })
     }
@@ -260,14 +260,14 @@
         else {
             return false;
         };
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         let classes = &self.shared.config.fleet.classes;
         let class = classes.get(usize::from(session.class));
         let message = rtsp::set_up(&rtsp::SetUp {
             tag: attempt.session_id,
             title: &session.title,
             class: class.map_or("", String::as_str),
-            patience: (attempt.deadline.0.saturating_sub(now) / MILLISECOND).max(1),
+            patience: whole_milliseconds(attempt.deadline.duration_since(now)).max(1),
             rung: attempt.rung,
             blob: session.description(),
         });
--- a/crates/node/src/event_loop/attempt_lifecycle.rs
+++ b/crates/node/src/event_loop/attempt_lifecycle.rs
@@ -1,6 +1,6 @@
 //! The end of attempts, and sessions that are adopted.
 use super::attempt::{Attempt, AttemptState};
-use super::{EventLoop, SECOND};
+use super::EventLoop;
 use crate::shared::LinkId;
 use crankpaddle_front::{
     AttemptId, AttemptOutcome, Input, LoadReport, PlayerId, ServerId, SetUpResult, Time,
@@ -8,9 +8,10 @@
 use crankpaddle_net::clock;
 use crankpaddle_node_protocol::rtsp;
 use crankpaddle_node_protocol::viewers::cause;
+use std::time::Duration;
 
 /// A server that answers an abandoned set-up later than this is not waited for any more.
-const LATE_ANSWER_PERIOD: u64 = 10 * SECOND;
+const LATE_ANSWER_PERIOD: Duration = Duration::from_secs(10);
 
 impl EventLoop {
     /// An attempt without an answer so far has ended without a session.
@@ -61,9 +62,9 @@
                 self.reset_link(link);
             }
             AttemptState::Sent { link, sent_at } => {
-                let now = clock::now().as_nanos();
+                let now = clock::now();
                 if let Some(at) = self.servers.get_mut(&server) {
-                    let expires_at = now.saturating_add(LATE_ANSWER_PERIOD);
+                    let expires_at = now + LATE_ANSWER_PERIOD;
                     at.abandoned.insert(session_id, expires_at);
                 }
                 self.note_silence(link, sent_at, now);
@@ -92,19 +93,19 @@
     }
 
     /// Marks a link as unresponsive if nothing came on it since an attempt was sent, for longer than a connect may take.
-    fn note_silence(&mut self, id: LinkId, sent_at: u64, now: u64) {
+    fn note_silence(&mut self, id: LinkId, sent_at: Time, now: Time) {
         let Some(link) = self.links.get_mut(&id) else {
             return;
         };
-        let connect_timeout = self.shared.config.fleet.connect_timeout;
-        if link.last_received <= sent_at && now.saturating_sub(sent_at) > connect_timeout {
+        let connect_timeout = Duration::from_nanos(self.shared.config.fleet.connect_timeout);
+        if link.last_received <= sent_at && now.duration_since(sent_at) > connect_timeout {
             link.mark_unresponsive(now);
         }
     }
 
     /// A session that plays at a server already is known from now on.
     pub(super) fn adopt(&mut self, player: PlayerId, attempt: AttemptId, server: ServerId) {
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         let Some(session_id) = self.sessions.get(&player).map(|session| session.session_id) else {
             return;
         };
@@ -119,7 +120,7 @@
             session_id,
             server,
             rung: 0,
-            deadline: Time(now),
+            deadline: now,
             connect_attempts: 0,
             state: AttemptState::Established {
                 link: None,
--- a/crates/node/src/event_loop/client_notifications.rs
+++ b/crates/node/src/event_loop/client_notifications.rs
@@ -79,9 +79,7 @@
     /// that had one are used, the latest first.
     fn send_notification(&mut self, connection: ConnectionId, message: Vec<u8>) {
         if let Some(connection) = self.connections.get(&connection) {
-            connection.extend_output_deadline(
-                clock::now().as_nanos().saturating_add(RELEASE_RETRY_PERIOD),
-            );
+            connection.extend_output_deadline(clock::now() + RELEASE_RETRY_PERIOD);
         }
         if self.send_to_viewer(connection, &message) {
             return;
@@ -91,7 +89,7 @@
             return;
         }
         self.unsent_notifications.push_back(UnsentMessage {
-            expires_at: clock::now().as_nanos().saturating_add(RELEASE_RETRY_PERIOD),
+            expires_at: clock::now() + RELEASE_RETRY_PERIOD,
             bytes: message,
         });
     }
--- a/crates/node/src/event_loop/client_requests.rs
+++ b/crates/node/src/event_loop/client_requests.rs
@@ -1,12 +1,15 @@
 //! What viewers send: set-ups, releases, tests, and the end of their connections.
 use super::session::{Session, SessionState};
-use super::{ConnectionId, EventLoop, DEADLINE_SLACK, MILLISECOND};
+use super::wire_time::{from_fractional_milliseconds, from_milliseconds, whole_milliseconds};
+use super::{ConnectionId, EventLoop, DEADLINE_SLACK};
 use crate::shared::increment;
 use crankpaddle_front::{Call, Input, OpenRequest, PlayerId, Time};
 use crankpaddle_net::clock;
 use crankpaddle_node_protocol::viewers::{self, cause, InvalidField, Message, SetUpParams};
 use crankpaddle_node_protocol::Tag;
+use crankpaddle_time::nanoseconds;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 /// A set-up whose fields are in range.
 struct SetUpRequest {
@@ -19,7 +22,7 @@
         &mut self,
         connection: ConnectionId,
         message: Message,
-        received_at: u64,
+        received_at: Time,
     ) {
         match message {
             Message::Start(set_up) => self.handle_set_up(connection, &set_up, received_at),
@@ -35,7 +38,7 @@
         &mut self,
         connection: ConnectionId,
         set_up: &viewers::SetUp,
-        received_at: u64,
+        received_at: Time,
     ) {
         let request = self.read_set_up(set_up);
         if self.players.contains_key(&set_up.tag) {
@@ -105,7 +108,7 @@
         connection: ConnectionId,
         set_up: &viewers::SetUp,
         request: SetUpRequest,
-        received_at: u64,
+        received_at: Time,
     ) {
         let SetUpRequest { params, open } = request;
         let session_id = set_up.tag;
@@ -122,7 +125,7 @@
             return;
         }
         viewer.pending_set_ups.fetch_add(1, Ordering::AcqRel);
-        viewer.extend_output_deadline(received_at.saturating_add(open.max_wait));
+        viewer.extend_output_deadline(received_at + Duration::from_nanos(open.max_wait));
         tracing::trace!(%session_id, connection_id = connection.0, opts = ?set_up.opts, "set-up received");
         let description = set_up.blob.clone().unwrap_or_default();
         let player = self.insert_session(Session {
@@ -135,7 +138,7 @@
         self.notify_core(Input::Open {
             call: Call { player, number: 0 },
             open,
-            received: Time(received_at),
+            received: received_at,
         });
     }
 
@@ -168,8 +171,9 @@
             .position(|class| *class == params.class)
             .ok_or(InvalidField("class"))?;
         let tenant = self.tenant_index(params.tenant.as_deref())?;
-        let max_wait = params.max_wait_ms.saturating_mul(MILLISECOND);
-        let longest_wait = fleet.deadlines[class].saturating_add(DEADLINE_SLACK);
+        let max_wait = from_milliseconds(params.max_wait_ms);
+        let longest_wait =
+            Duration::from_nanos(fleet.deadlines[class]).saturating_add(DEADLINE_SLACK);
         if params.current_server.is_none() && max_wait > longest_wait {
             return Err(InvalidField("left"));
         }
@@ -192,10 +196,10 @@
             first_cell: params.first_cell,
             cell_count: params.cell_count,
             max_rung: params.max_rung,
-            max_wait,
+            max_wait: nanoseconds(max_wait),
             duration_hint: params
                 .duration_hint_ms
-                .map(|ms| (ms * MILLISECOND as f64) as u64),
+                .map(|hint| nanoseconds(from_fractional_milliseconds(hint))),
             is_retry: params.is_retry,
             is_migration: params.is_migration,
         })
@@ -271,9 +275,7 @@
     pub(super) fn set_up_answered(&self, connection: ConnectionId) {
         if let Some(connection) = self.connections.get(&connection) {
             connection.pending_set_ups.fetch_sub(1, Ordering::AcqRel);
-            connection
-                .last_used
-                .store(clock::now().as_nanos(), Ordering::Relaxed);
+            connection.set_last_used(clock::now());
         }
     }
 
@@ -286,6 +288,6 @@
 
 /// How long to stay away, in the milliseconds of the protocol; none where that is less than one.
 pub(super) fn retry_after_ms(retry_after: u64) -> Option<u64> {
-    let milliseconds = retry_after / MILLISECOND;
+    let milliseconds = whole_milliseconds(Duration::from_nanos(retry_after));
     (milliseconds > 0).then_some(milliseconds)
 }
--- a/crates/node/src/event_loop/core_driver.rs
+++ b/crates/node/src/event_loop/core_driver.rs
@@ -23,7 +23,7 @@
         self.is_carrying_out = true;
         while let Some(input) = self.pending_inputs.pop_front() {
             self.core
-                .handle_input(Time(clock::now().as_nanos()), input, &mut self.outputs);
+                .handle_input(clock::now(), input, &mut self.outputs);
             self.publish_counts(); // Before whoever is answered can ask for them.
             self.carry_out_outputs();
         }
@@ -50,11 +50,7 @@
 
     fn with_core(&mut self, call: impl FnOnce(&mut Core, Time, &mut Vec<Output>)) {
         self.is_carrying_out = true;
-        call(
-            &mut self.core,
-            Time(clock::now().as_nanos()),
-            &mut self.outputs,
-        );
+        call(&mut self.core, clock::now(), &mut self.outputs);
         self.publish_counts();
         self.carry_out_outputs();
         self.is_carrying_out = false;
--- a/crates/node/src/event_loop/endpoint_list.rs
+++ b/crates/node/src/event_loop/endpoint_list.rs
@@ -1,11 +1,13 @@
 //! The directory's list in the core's terms.
 use super::server::Server;
-use super::{EventLoop, MILLISECOND};
+use super::wire_time::from_milliseconds;
+use super::EventLoop;
 use crate::health::Health;
 use crankpaddle_front::{Endpoint, EndpointListKind, Input, Lifecycle, ServerId, Time};
 use crankpaddle_net::clock;
 use crankpaddle_node_protocol::directory::{Entry, List, State};
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// A server of a list that does not fit the settings.
 #[derive(Clone, PartialEq, Eq)]
@@ -29,7 +31,7 @@
 impl EventLoop {
     /// Takes a list over: the core is notified of what has changed.
     pub(super) fn update_endpoints(&mut self, list: List, kind: EndpointListKind) {
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         let SortedList {
             endpoints: listed,
             incompatible,
@@ -149,19 +151,19 @@
                 State::Draining => Lifecycle::Draining,
             },
             weight: entry.weight,
-            started_at: Time(started_at(entry)),
+            started_at: started_at(entry),
         })
     }
 
     /// A server is in the list, new or changed.
-    fn server_listed(&mut self, id: ServerId, entry: &Entry, before: Option<&Entry>, now: u64) {
+    fn server_listed(&mut self, id: ServerId, entry: &Entry, before: Option<&Entry>, now: Time) {
         if let Some(before) = before {
             let has_moved = before.address != entry.address;
             if has_moved || before.started_ms < entry.started_ms {
                 self.new_incarnation(id, started_at(entry), has_moved);
             }
         }
-        let update_interval = self.shared.config.fleet.settings.update_interval;
+        let update_interval = self.update_interval();
         let server = self
             .servers
             .entry(id)
@@ -170,6 +172,12 @@
         server.is_listed = true;
     }
 
+    /// The time between two updates of a session, if the settings name one: 0 is none.
+    fn update_interval(&self) -> Option<Duration> {
+        let interval = self.shared.config.fleet.settings.update_interval;
+        (interval > 0).then_some(Duration::from_nanos(interval))
+    }
+
     /// A server is not in the list any more. Its links go on while the server holds them, but a new connection to its
     /// address may reach another server, so none is made.
     fn server_unlisted(&mut self, id: ServerId) {
@@ -212,9 +220,9 @@
     names.iter().position(|known| known == name)
 }
 
-/// When a server started late, nanoseconds; 0 where the list names no time.
-fn started_at(entry: &Entry) -> u64 {
-    entry.started_ms.saturating_mul(MILLISECOND)
+/// When a server started late; the origin of the clock where the list names no time.
+fn started_at(entry: &Entry) -> Time {
+    Time::ZERO + from_milliseconds(entry.started_ms)
 }
 
 /// The first hash value of FNV-1a, 32 bits.
--- a/crates/node/src/event_loop/link.rs
+++ b/crates/node/src/event_loop/link.rs
@@ -1,7 +1,8 @@
 //! A link: one connection to a server.
-use crankpaddle_front::{AttemptId, ServerId};
+use crankpaddle_front::{AttemptId, ServerId, Time};
 use crankpaddle_net::WriteBuffer;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// A connection to a server, from the connect on.
 pub(super) struct Link {
@@ -9,10 +10,10 @@
     pub(super) state: LinkState,
     /// Attempts without an answer on it, or waiting for it to come up.
     pub(super) pending: Vec<AttemptId>,
-    /// When something last came on it, nanoseconds; the start of the connect before anything did.
-    pub(super) last_received: u64,
+    /// When something last came on it; the start of the connect before anything did.
+    pub(super) last_received: Time,
     /// When the connect was started.
-    pub(super) connect_started_at: u64,
+    pub(super) connect_started_at: Time,
 }
 
 /// How far a link has come.
@@ -23,12 +24,12 @@
     Connected {
         outbox: Arc<WriteBuffer>,
         /// Since when it is not to be used, because an attempt on it timed out in silence.
-        unresponsive_since: Option<u64>,
+        unresponsive_since: Option<Time>,
     },
 }
 
 impl Link {
-    pub(super) fn connecting(server: ServerId, now: u64) -> Link {
+    pub(super) fn connecting(server: ServerId, now: Time) -> Link {
         Link {
             server,
             state: LinkState::Connecting,
@@ -38,7 +39,7 @@
         }
     }
 
-    pub(super) fn set_connected(&mut self, outbox: Arc<WriteBuffer>, now: u64) {
+    pub(super) fn set_connected(&mut self, outbox: Arc<WriteBuffer>, now: Time) {
         self.state = LinkState::Connected {
             outbox,
             unresponsive_since: None,
@@ -91,7 +92,7 @@
     }
 
     /// Something was received on it, so it is responsive.
-    pub(super) fn record_received(&mut self, now: u64) {
+    pub(super) fn record_received(&mut self, now: Time) {
         self.last_received = now;
         if let LinkState::Connected {
             unresponsive_since, ..
@@ -102,7 +103,7 @@
     }
 
     /// An attempt on it timed out in silence; the first such time counts.
-    pub(super) fn mark_unresponsive(&mut self, now: u64) {
+    pub(super) fn mark_unresponsive(&mut self, now: Time) {
         if let LinkState::Connected {
             unresponsive_since, ..
         } = &mut self.state
@@ -112,7 +113,7 @@
     }
 
     /// Whether it is unresponsive for longer than `duration` and nothing waits on it.
-    pub(super) fn is_expired(&self, now: u64, duration: u64) -> bool {
+    pub(super) fn is_expired(&self, now: Time, duration: Duration) -> bool {
         let LinkState::Connected {
             unresponsive_since: Some(since),
             ..
@@ -120,7 +121,7 @@
         else {
             return false;
         };
-        self.pending.is_empty() && now > since.saturating_add(duration)
+        self.pending.is_empty() && now > since + duration
     }
 
     /// Closes its socket, if it has one.
--- a/crates/node/src/event_loop/maintenance.rs
+++ b/crates/node/src/event_loop/maintenance.rs
@@ -1,38 +1,39 @@
 //! What is due from time to time: servers and links are looked through, notifications are retried, counts are logged.
-use super::{ConnectionId, EventLoop, UnsentMessage, MILLISECOND, SECOND};
+use super::{ConnectionId, EventLoop, UnsentMessage};
 use crate::shared::LinkId;
 use crankpaddle_front::{ServerId, Time};
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 /// Links, and what is to be released, are looked through so often.
-const MAINTENANCE_INTERVAL: u64 = 100 * MILLISECOND;
+const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(100);
 /// Counters are logged so often.
-const COUNTS_LOG_INTERVAL: u64 = 10 * SECOND;
+const COUNTS_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Load estimates are traced so often.
-const LOAD_TRACE_INTERVAL: u64 = SECOND / 2;
+const LOAD_TRACE_INTERVAL: Duration = Duration::from_millis(500);
 /// A link on which an attempt timed out in silence is closed after this time.
-const UNRESPONSIVE_LINK_LIFETIME: u64 = 2 * SECOND;
+const UNRESPONSIVE_LINK_LIFETIME: Duration = Duration::from_secs(2);
 
 /// Something that is done at an interval, counted from when it was last found due.
 pub(super) struct Periodic {
-    due_at: u64,
-    interval: u64,
+    due_at: Time,
+    interval: Duration,
 }
 
 impl Periodic {
-    fn first_after(now: u64, interval: u64) -> Periodic {
+    fn first_after(now: Time, interval: Duration) -> Periodic {
         Periodic {
             due_at: now + interval,
             interval,
         }
     }
 
-    pub(super) fn due_at(&self) -> u64 {
+    pub(super) fn due_at(&self) -> Time {
         self.due_at
     }
 
     /// Whether it is due; then it is due again an interval from `now`.
-    pub(super) fn is_due(&mut self, now: u64) -> bool {
+    pub(super) fn is_due(&mut self, now: Time) -> bool {
         let due = now >= self.due_at;
         if due {
             self.due_at = now + self.interval;
@@ -49,7 +50,7 @@
 }
 
 impl Schedule {
-    pub(super) fn starting_at(now: u64) -> Schedule {
+    pub(super) fn starting_at(now: Time) -> Schedule {
         Schedule {
             maintenance: Periodic::first_after(now, MAINTENANCE_INTERVAL),
             counts_log: Periodic::first_after(now, COUNTS_LOG_INTERVAL),
@@ -62,11 +63,11 @@
 }
 
 impl EventLoop {
-    pub(super) fn trace_load_estimates(&self, now: u64, schedule: &mut Schedule) {
+    pub(super) fn trace_load_estimates(&self, now: Time, schedule: &mut Schedule) {
         if !tracing::enabled!(tracing::Level::TRACE) || !schedule.load_trace.is_due(now) {
             return;
         }
-        for estimate in self.core.server_estimates(Time(now)) {
+        for estimate in self.core.server_estimates(now) {
             tracing::trace!(
                 server_id = estimate.server.0,
                 link = estimate.link_fill,
@@ -81,7 +82,7 @@
         tracing::info!(counts = ?self.shared.counts(), dropped = ?self.shared.drop_counters, "counts");
     }
 
-    pub(super) fn run_maintenance(&mut self, now: u64) {
+    pub(super) fn run_maintenance(&mut self, now: Time) {
         let servers: Vec<ServerId> = self.servers.keys().copied().collect();
         for server in servers {
             self.maintain_server(server, now);
@@ -91,7 +92,7 @@
         self.publish_entries();
     }
 
-    fn maintain_server(&mut self, id: ServerId, now: u64) {
+    fn maintain_server(&mut self, id: ServerId, now: Time) {
         if let Some(server) = self.servers.get_mut(&id) {
             server.remove_expired(now);
         }
@@ -107,7 +108,7 @@
         }
     }
 
-    fn close_unresponsive_links(&mut self, now: u64) {
+    fn close_unresponsive_links(&mut self, now: Time) {
         let expired: Vec<LinkId> = self
             .links
             .iter()
@@ -119,7 +120,7 @@
         }
     }
 
-    fn retry_notifications(&mut self, now: u64) {
+    fn retry_notifications(&mut self, now: Time) {
         self.unsent_notifications
             .retain(|message| now < message.expires_at);
         for message in std::mem::take(&mut self.unsent_notifications) {
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -7,7 +7,8 @@
 //! - `server_links`, `server_liveness`: connections to servers, and what their loss means for sessions;
 //! - `endpoint_list`: the directory's list;
 //! - `core_driver`: inputs into the core and outputs from it;
-//! - `maintenance`, `shutdown`: what is due from time to time, and the end.
+//! - `maintenance`, `shutdown`: what is due from time to time, and the end;
+//! - `wire_time`: times on the wire.
 mod attempt;
 mod attempt_dispatch;
 mod attempt_lifecycle;
@@ -24,6 +25,7 @@
 mod session;
 mod set_up_responses;
 mod shutdown;
+mod wire_time;
 
 use crate::shared::{InboxMessage, LinkId, Shared};
 use crate::viewer_connection::{ConnectionId, ViewerConnection};
@@ -37,6 +39,7 @@
 use crankpaddle_node_protocol::directory::Entry;
 use crankpaddle_node_protocol::viewers::cause;
 use crankpaddle_node_protocol::Tag;
+use crankpaddle_time::nanoseconds;
 use endpoint_list::IncompatibleServer;
 use link::Link;
 use maintenance::Schedule;
@@ -48,17 +51,16 @@
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::RecvTimeoutError;
 use std::sync::Arc;
+use std::time::Duration;
 
-const MILLISECOND: u64 = 1_000_000;
-const SECOND: u64 = 1000 * MILLISECOND;
 /// Messages handled before timers are looked at.
 const MESSAGE_BATCH: usize = 128;
 /// A set-up is answered so long before its viewer times out at the latest.
-const ANSWER_MARGIN: u64 = 15 * MILLISECOND;
+const ANSWER_MARGIN: Duration = Duration::from_millis(15);
 /// What a viewer may wait beyond its class's deadline; more is out of range.
-const DEADLINE_SLACK: u64 = SECOND;
+const DEADLINE_SLACK: Duration = Duration::from_secs(1);
 /// A release that can't be sent is retried for this long.
-const RELEASE_RETRY_PERIOD: u64 = 8 * SECOND;
+const RELEASE_RETRY_PERIOD: Duration = Duration::from_secs(8);
 
 /// The event loop's state: the core, and the tables that tie its numbers to connections.
 pub(crate) struct EventLoop {
@@ -90,7 +92,7 @@
     is_carrying_out: bool,
     outputs: Vec<Output>,
     /// When draining began.
-    drain_started_at: Option<u64>,
+    drain_started_at: Option<Time>,
     /// What was taken from the inbox behind the message that is being handled.
     message_queue: VecDeque<InboxMessage>,
 }
@@ -100,9 +102,9 @@
     CoreConfig {
         max_wait: deadlines
             .iter()
-            .map(|deadline| deadline.saturating_add(DEADLINE_SLACK))
+            .map(|deadline| deadline.saturating_add(nanoseconds(DEADLINE_SLACK)))
             .collect(),
-        answer_margin: ANSWER_MARGIN,
+        answer_margin: nanoseconds(ANSWER_MARGIN),
         resume_window: 0,
         recovered_resume_window: 0, // Nothing is persisted here.
         max_pending: shared.budget.pending_set_ups,
@@ -119,7 +121,7 @@
             config.fleet.settings.clone(),
             core_config(&shared),
             config.seed,
-            Time(clock::now().as_nanos()),
+            clock::now(),
         );
         if let Some(observer) = observer {
             core.set_event_observer(observer);
@@ -154,14 +156,14 @@
 
     /// Runs until the node has ended.
     pub(crate) fn run(mut self, inbox: &Receiver<InboxMessage>) {
-        let mut schedule = Schedule::starting_at(clock::now().as_nanos());
+        let mut schedule = Schedule::starting_at(clock::now());
         while !self.has_ended() {
             if self.wait_for_message(inbox, &schedule).is_break() {
                 break;
             }
             self.drain_inbox(inbox);
             self.catch_up_after_stall(inbox);
-            let now = clock::now().as_nanos();
+            let now = clock::now();
             if schedule.maintenance.is_due(now) {
                 self.run_maintenance(now);
             }
@@ -180,11 +182,11 @@
         inbox: &Receiver<InboxMessage>,
         schedule: &Schedule,
     ) -> ControlFlow<()> {
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         let recheck_at = if self.dispatch_queue.is_empty() {
-            u64::MAX
+            Time::MAX
         } else {
-            now.saturating_add(RECHECK_INTERVAL)
+            now + RECHECK_INTERVAL
         };
         let wake_at = self
             .next_core_expiry()
@@ -193,7 +195,7 @@
         if wake_at <= now {
             return ControlFlow::Continue(());
         }
-        match recv_until(inbox, Time(wake_at)) {
+        match recv_until(inbox, wake_at) {
             Ok(message) => {
                 self.enqueue(message);
                 ControlFlow::Continue(())
@@ -206,14 +208,14 @@
     /// Handles what came while the whole process stood still before anything that fell due meanwhile.
     fn catch_up_after_stall(&mut self, inbox: &Receiver<InboxMessage>) {
         let due_at = self.next_core_expiry();
-        let stalled = drain_after_stall(Time(due_at), || self.drain_inbox(inbox) == MESSAGE_BATCH);
+        let stalled = drain_after_stall(due_at, || self.drain_inbox(inbox) == MESSAGE_BATCH);
         if stalled {
             tracing::warn!("event loop stalled");
         }
     }
 
-    fn next_core_expiry(&self) -> u64 {
-        self.core.next_expiry().map_or(u64::MAX, |time| time.0)
+    fn next_core_expiry(&self) -> Time {
+        self.core.next_expiry().unwrap_or(Time::MAX)
     }
 
     /// Handles what was queued before and what lies in the inbox, one batch at most; how many messages came from the inbox.
--- a/crates/node/src/event_loop/server.rs
+++ b/crates/node/src/event_loop/server.rs
@@ -1,7 +1,7 @@
 //! A server as the event loop knows it.
 use crate::health::Health;
 use crate::shared::LinkId;
-use crankpaddle_front::AttemptId;
+use crankpaddle_front::{AttemptId, Time};
 use crankpaddle_node_protocol::Tag;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -19,7 +19,7 @@
     /// How many of these are established.
     pub(super) established: usize,
     /// Set-ups that were abandoned, and until when a late answer is released.
-    pub(super) abandoned: HashMap<Tag, u64>,
+    pub(super) abandoned: HashMap<Tag, Time>,
     /// Messages that no link could take.
     pub(super) unsent: VecDeque<UnsentMessage>,
 }
@@ -27,7 +27,7 @@
 /// A message that no connection could take.
 pub(super) struct UnsentMessage {
     /// Until when sending it is tried again.
-    pub(super) expires_at: u64,
+    pub(super) expires_at: Time,
     pub(super) bytes: Vec<u8>,
 }
 
@@ -46,7 +46,7 @@
     }
 
     /// Removes what has expired.
-    pub(super) fn remove_expired(&mut self, now: u64) {
+    pub(super) fn remove_expired(&mut self, now: Time) {
         self.abandoned.retain(|_, expires_at| now < *expires_at);
         self.unsent.retain(|message| now < message.expires_at);
     }
--- a/crates/node/src/event_loop/server_links.rs
+++ b/crates/node/src/event_loop/server_links.rs
@@ -4,7 +4,7 @@
 use crate::health::ConnectFailure;
 use crate::server_connector;
 use crate::shared::{LinkEnd, LinkId};
-use crankpaddle_front::{AttemptId, AttemptOutcome, LoadReport, ServerId};
+use crankpaddle_front::{AttemptId, AttemptOutcome, LoadReport, ServerId, Time};
 use crankpaddle_net::{clock, WriteBuffer};
 use crankpaddle_node_protocol::rtsp;
 use crankpaddle_node_protocol::viewers::cause;
@@ -46,7 +46,7 @@
         };
         if at.is_listed {
             at.unsent.push_back(UnsentMessage {
-                expires_at: clock::now().as_nanos().saturating_add(RELEASE_RETRY_PERIOD),
+                expires_at: clock::now() + RELEASE_RETRY_PERIOD,
                 bytes,
             });
         }
@@ -61,8 +61,7 @@
         self.last_link += 1;
         let link = LinkId(self.last_link);
         server.links.insert(0, link);
-        self.links
-            .insert(link, Link::connecting(id, clock::now().as_nanos()));
+        self.links.insert(link, Link::connecting(id, clock::now()));
         server_connector::connect(&self.shared, link, server.address);
         Some(link)
     }
@@ -93,7 +92,7 @@
         id: LinkId,
         result: Result<Arc<WriteBuffer>, ConnectFailure>,
     ) {
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         let Some(link) = self.links.get(&id) else {
             // It was closed meanwhile.
             if let Ok(outbox) = result {
@@ -137,7 +136,7 @@
         }
     }
 
-    fn link_connected(&mut self, id: LinkId, outbox: Arc<WriteBuffer>, now: u64) {
+    fn link_connected(&mut self, id: LinkId, outbox: Arc<WriteBuffer>, now: Time) {
         let Some(link) = self.links.get_mut(&id) else {
             return;
         };
@@ -277,7 +276,7 @@
         for attempt in link.pending {
             self.fail_pending(attempt, server_id, outcome);
         }
-        self.ensure_observed(server_id, clock::now().as_nanos());
+        self.ensure_observed(server_id, clock::now());
     }
 
     /// An attempt without an answer loses its link.
--- a/crates/node/src/event_loop/server_liveness.rs
+++ b/crates/node/src/event_loop/server_liveness.rs
@@ -1,10 +1,10 @@
 //! Whether servers with sessions are alive, and the end of sessions at those that are not.
 use super::{EventLoop, Link};
-use crankpaddle_front::{AttemptId, AttemptOutcome, Input, LoadReport, ServerId};
+use crankpaddle_front::{AttemptId, AttemptOutcome, Input, LoadReport, ServerId, Time};
 
 impl EventLoop {
     /// Sees to it that a server from which messages are needed has a link, and is connected to when it is silent.
-    pub(super) fn ensure_observed(&mut self, id: ServerId, now: u64) {
+    pub(super) fn ensure_observed(&mut self, id: ServerId, now: Time) {
         let has_link = self.find_link(id, Link::is_responsive).is_some();
         let is_connecting = self.find_link(id, Link::is_connecting).is_some();
         let Some(server) = self.servers.get_mut(&id) else {
@@ -31,11 +31,11 @@
     /// arrive, so that sessions of the previous one would stay here for ever; set-ups and releases would go out on dead
     /// connections. And the list may be late: what was set up in the new incarnation before the list came goes on. A
     /// server whose clock is ahead of ours by more than its start was late loses the sessions set up within that time.
-    pub(super) fn new_incarnation(&mut self, id: ServerId, started_at: u64, has_moved: bool) {
+    pub(super) fn new_incarnation(&mut self, id: ServerId, started_at: Time, has_moved: bool) {
         if has_moved {
             self.cancel_connects(id);
         }
-        let is_previous = |time: u64| has_moved || time < started_at;
+        let is_previous = |time: Time| has_moved || time < started_at;
         let Some(server) = self.servers.get_mut(&id) else {
             return;
         };
@@ -67,7 +67,7 @@
     }
 
     /// Established attempts at a server whose set-up was sent at a time of which `sent` holds, by id.
-    fn established_attempts(&self, id: ServerId, sent: impl Fn(u64) -> bool) -> Vec<AttemptId> {
+    fn established_attempts(&self, id: ServerId, sent: impl Fn(Time) -> bool) -> Vec<AttemptId> {
         let Some(server) = self.servers.get(&id) else {
             return Vec::new();
         };
--- a/crates/node/src/event_loop/server_messages.rs
+++ b/crates/node/src/event_loop/server_messages.rs
@@ -8,7 +8,7 @@
 
 impl EventLoop {
     pub(super) fn handle_server_message(&mut self, id: LinkId, message: &rtsp::Message) {
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         let Some(link) = self.links.get_mut(&id) else {
             return;
         };
--- a/crates/node/src/event_loop/set_up_responses.rs
+++ b/crates/node/src/event_loop/set_up_responses.rs
@@ -2,7 +2,9 @@
 use super::server_messages::release_outcome;
 use super::EventLoop;
 use crate::shared::{increment, InboxMessage, LinkEnd, LinkId};
-use crankpaddle_front::{AttemptId, AttemptOutcome, Input, LoadReport, ServerId, SetUpResult};
+use crankpaddle_front::{
+    AttemptId, AttemptOutcome, Input, LoadReport, ServerId, SetUpResult, Time,
+};
 use crankpaddle_net::clock;
 use crankpaddle_node_protocol::rtsp::{self, status};
 use crankpaddle_node_protocol::viewers::cause;
@@ -24,7 +26,7 @@
         status: u16,
         message: &rtsp::Message,
     ) {
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         let Some(attempt) = known.filter(|id| self.is_awaiting_answer_on(*id, link)) else {
             let is_accepted_unknown = known.is_none() && status == status::OK;
             return self.handle_unexpected_response(link, server, is_accepted_unknown, message);
@@ -102,7 +104,7 @@
         id: AttemptId,
         link: LinkId,
         server: ServerId,
-        now: u64,
+        now: Time,
         report: LoadReport,
     ) {
         let Some(attempt) = self.attempts.get_mut(&id) else {
--- a/crates/node/src/event_loop/shutdown.rs
+++ b/crates/node/src/event_loop/shutdown.rs
@@ -1,14 +1,14 @@
 //! Graceful shutdown: when the node may end.
-use super::{EventLoop, MILLISECOND, SECOND};
+use super::EventLoop;
 use crate::viewer_connection::UnreadInput;
 use crankpaddle_front::Input;
 use crankpaddle_net::{clock, sleep};
 use std::time::Duration;
 
 /// Requests still arrive for so long after the drain began.
-const ARRIVAL_PERIOD: u64 = 900 * MILLISECOND;
+const ARRIVAL_PERIOD: Duration = Duration::from_millis(900);
 /// What is unread then is read for this time more; beyond, only a client that never stops has any.
-const UNREAD_PERIOD: u64 = 2 * SECOND;
+const UNREAD_PERIOD: Duration = Duration::from_secs(2);
 /// Before the node ends, all sockets are read for this long.
 const FINAL_READ: Duration = Duration::from_millis(20);
 
@@ -19,7 +19,7 @@
             return;
         }
         tracing::info!(counts = ?self.shared.counts(), "draining");
-        self.drain_started_at = Some(clock::now().as_nanos());
+        self.drain_started_at = Some(clock::now());
         self.notify_core(Input::Drain);
     }
 
@@ -38,8 +38,8 @@
         let Some(started_at) = self.drain_started_at else {
             return true;
         };
-        let now = clock::now().as_nanos();
-        let is_over = |period| now > started_at.saturating_add(period);
+        let now = clock::now();
+        let is_over = |period| now > started_at + period;
         if !is_over(ARRIVAL_PERIOD)
             || self.core.waiting() > 0
             || self.core.playing() > 0
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -6,20 +6,21 @@
 //!
 //! Why: sessions of a vanished machine would stay here for ever. The price: on a network that drops two connects in a row,
 //! sessions that play are given up.
+use crankpaddle_time::Time;
 use std::time::Duration;
 
-/// Silence that is tolerated beyond the time between two updates, nanoseconds.
-const SILENCE_GRACE: u64 = 500_000_000;
-/// Time between updates where the settings name none, nanoseconds.
-const DEFAULT_UPDATE_INTERVAL: u64 = 4_000_000_000;
+/// Silence that is tolerated beyond the time between two updates.
+const SILENCE_GRACE: Duration = Duration::from_millis(500);
+/// Time between updates where the settings name none.
+const DEFAULT_UPDATE_INTERVAL: Duration = Duration::from_secs(4);
 /// Connects without a response, one after the other, that prove that a machine vanished.
 const MAX_MISSED_CONNECTS: u32 = 2;
-/// Backoff after a failed connect, nanoseconds.
-const CONNECT_BACKOFF: u64 = 200_000_000;
-/// A connect may take so long at least, whatever the settings name, nanoseconds.
-const MIN_CONNECT_TIMEOUT: u64 = 50_000_000;
-/// A connect may take so long at most, whatever the settings name, nanoseconds.
-const MAX_CONNECT_TIMEOUT: u64 = 2_000_000_000;
+/// Backoff after a failed connect.
+const CONNECT_BACKOFF: Duration = Duration::from_millis(200);
+/// A connect may take so long at least, whatever the settings name.
+const MIN_CONNECT_TIMEOUT: Duration = Duration::from_millis(50);
+/// A connect may take so long at most, whatever the settings name.
+const MAX_CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Why a connect failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,50 +37,46 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Health {
     /// Silence for longer than this makes the server be checked.
-    max_silence: u64,
-    last_received: u64,
+    max_silence: Duration,
+    last_received: Time,
     missed_connects: u32,
     /// No connect before this time.
-    backoff_until: u64,
+    backoff_until: Time,
 }
 
 impl Health {
-    /// A server that is new at `now`; `update_interval`: time between its updates, 0 where the settings name none.
-    pub(crate) fn new(now: u64, update_interval: u64) -> Health {
-        let interval = if update_interval == 0 {
-            DEFAULT_UPDATE_INTERVAL
-        } else {
-            update_interval
-        };
+    /// A server that is new at `now`; `update_interval`: time between its updates, if the settings name one.
+    pub(crate) fn new(now: Time, update_interval: Option<Duration>) -> Health {
+        let interval = update_interval.unwrap_or(DEFAULT_UPDATE_INTERVAL);
         Health {
             max_silence: interval.saturating_add(SILENCE_GRACE),
             last_received: now,
             missed_connects: 0,
-            backoff_until: 0,
+            backoff_until: Time::ZERO,
         }
     }
 
     /// Something was received from it.
-    pub(crate) fn record_received(&mut self, now: u64) {
+    pub(crate) fn record_received(&mut self, now: Time) {
         self.last_received = now;
         self.missed_connects = 0;
     }
 
     /// A session is established there: silence before that is no sign of anything.
-    pub(crate) fn session_established(&mut self, now: u64) {
+    pub(crate) fn session_established(&mut self, now: Time) {
         self.last_received = self.last_received.max(now);
     }
 
     /// Whether to connect, so as to learn of the sessions there. `has_link`: there is a connection already.
-    pub(crate) fn wants_connect(&self, now: u64, has_link: bool) -> bool {
-        let is_silent = now.saturating_sub(self.last_received) > self.max_silence;
+    pub(crate) fn wants_connect(&self, now: Time, has_link: bool) -> bool {
+        let is_silent = now.duration_since(self.last_received) > self.max_silence;
         now >= self.backoff_until && (!has_link || is_silent)
     }
 
     /// A connect completed; true if the sessions there are lost.
     pub(crate) fn connect_completed(
         &mut self,
-        now: u64,
+        now: Time,
         outcome: Result<(), ConnectFailure>,
     ) -> bool {
         match outcome {
@@ -88,11 +85,11 @@
                 false
             }
             Err(ConnectFailure::Refused) => {
-                self.backoff_until = now.saturating_add(CONNECT_BACKOFF);
+                self.backoff_until = now + CONNECT_BACKOFF;
                 true
             }
             Err(ConnectFailure::Local) => {
-                self.backoff_until = now.saturating_add(CONNECT_BACKOFF);
+                self.backoff_until = now + CONNECT_BACKOFF;
                 false
             }
             Err(ConnectFailure::NoResponse) => {
@@ -103,9 +100,9 @@
     }
 }
 
-/// How long a connect may take, from the settings' nanoseconds.
-pub(crate) fn connect_timeout(setting: u64) -> Duration {
-    Duration::from_nanos(setting.clamp(MIN_CONNECT_TIMEOUT, MAX_CONNECT_TIMEOUT))
+/// How long a connect may take: what the settings name, within bounds.
+pub(crate) fn connect_timeout(setting: Duration) -> Duration {
+    setting.clamp(MIN_CONNECT_TIMEOUT, MAX_CONNECT_TIMEOUT)
 }
 
 #[cfg(test)]
--- a/crates/node/src/server_connector.rs
+++ b/crates/node/src/server_connector.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Bytes read from the kernel at once; then other coroutines run.
 const READ_SIZE: usize = 4096;
@@ -16,7 +17,7 @@
     shared.links.fetch_add(1, Ordering::Relaxed);
     let shared = shared.clone();
     spawn(Stack::Usual, move || {
-        let timeout = connect_timeout(shared.config.fleet.connect_timeout);
+        let timeout = connect_timeout(Duration::from_nanos(shared.config.fleet.connect_timeout));
         match Socket::connect(&address, timeout) {
             Ok(socket) => serve(socket, link, &shared),
             Err(error) => {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -7,6 +7,7 @@
 use crankpaddle_node_protocol::config::Config;
 use crankpaddle_node_protocol::directory::List;
 use crankpaddle_node_protocol::{rtsp, viewers};
+use crankpaddle_time::Time;
 use may::sync::mpsc::{channel, Receiver, Sender};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -34,8 +35,8 @@
     FromViewer {
         connection: ConnectionId,
         message: viewers::Message,
-        /// When it was read, nanoseconds.
-        received_at: u64,
+        /// When it was read.
+        received_at: Time,
     },
     /// A viewer's connection has ended.
     ViewerDisconnected(ConnectionId),
--- a/crates/node/src/viewer_connection.rs
+++ b/crates/node/src/viewer_connection.rs
@@ -1,6 +1,8 @@
 //! A viewer's connection as all parts of the node see it, and the work that is pending on it.
 use crankpaddle_net::WriteBuffer;
+use crankpaddle_time::Time;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
 
 /// A viewer's connection; never used twice.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -25,31 +27,45 @@
     pub(crate) pending_set_ups: AtomicUsize,
     /// Whether a message is partially received.
     pub(crate) has_partial_message: AtomicBool,
-    /// Until when anybody waits for what is in the outbox, nanoseconds.
-    pub(crate) output_deadline: AtomicU64,
+    /// Until when anybody waits for what is in the outbox, nanoseconds of the clock.
+    output_deadline: AtomicU64,
     /// Whether a complete message was received.
     pub(crate) has_sent_message: AtomicBool,
-    /// When something last came of it, nanoseconds.
-    pub(crate) last_used: AtomicU64,
+    /// When something last came of it, nanoseconds of the clock.
+    last_used: AtomicU64,
 }
 
 impl ViewerConnection {
-    pub(crate) fn new(id: ConnectionId, outbox: WriteBuffer, now: u64) -> ViewerConnection {
+    pub(crate) fn new(id: ConnectionId, outbox: WriteBuffer, now: Time) -> ViewerConnection {
         ViewerConnection {
             id,
             outbox,
             queued_messages: AtomicUsize::new(0),
             pending_set_ups: AtomicUsize::new(0),
             has_partial_message: AtomicBool::new(false),
-            output_deadline: AtomicU64::new(0),
+            output_deadline: AtomicU64::new(Time::ZERO.as_nanos()),
             has_sent_message: AtomicBool::new(false),
-            last_used: AtomicU64::new(now),
+            last_used: AtomicU64::new(now.as_nanos()),
         }
     }
 
     /// Somebody waits for what is written until then; the time never gets shorter.
-    pub(crate) fn extend_output_deadline(&self, until: u64) {
-        self.output_deadline.fetch_max(until, Ordering::Relaxed);
+    pub(crate) fn extend_output_deadline(&self, until: Time) {
+        self.output_deadline
+            .fetch_max(until.as_nanos(), Ordering::Relaxed);
+    }
+
+    fn output_deadline(&self) -> Time {
+        Time(self.output_deadline.load(Ordering::Relaxed))
+    }
+
+    /// When a message was last read from it, or one of its set-ups answered.
+    pub(crate) fn last_used(&self) -> Time {
+        Time(self.last_used.load(Ordering::Relaxed))
+    }
+
+    pub(crate) fn set_last_used(&self, now: Time) {
+        self.last_used.store(now.as_nanos(), Ordering::Relaxed);
     }
 
     /// Whether something that was read, handled or not, has no answer.
@@ -70,9 +86,8 @@
     ///
     /// Why: load shedding and shutdown each looked at handled set-ups only; one that was read and still queued, or whose
     /// answer a slow reader had not taken, was lost.
-    pub(crate) fn has_pending_work(&self, now: u64, unread: UnreadInput) -> bool {
-        let has_output =
-            now < self.output_deadline.load(Ordering::Relaxed) && !self.outbox.is_empty();
+    pub(crate) fn has_pending_work(&self, now: Time, unread: UnreadInput) -> bool {
+        let has_output = now < self.output_deadline() && !self.outbox.is_empty();
         let has_pending_set_ups = self.pending_set_ups.load(Ordering::Acquire) > 0;
         if self.outbox.socket().is_closed() {
             return false;
@@ -87,12 +102,12 @@
     ///
     /// Why: closed within it, the connection would take with it the set-ups that wait for their answers there; these come
     /// first.
-    pub(crate) fn message_deadline(&self, now: u64, timeout: u64) -> u64 {
+    pub(crate) fn message_deadline(&self, now: Time, timeout: Duration) -> Time {
         let start = if self.has_unanswered_input() {
-            now.max(self.output_deadline.load(Ordering::Relaxed))
+            now.max(self.output_deadline())
         } else {
             now
         };
-        start.saturating_add(timeout)
+        start + timeout
     }
 }
--- a/crates/node/src/viewer_reader.rs
+++ b/crates/node/src/viewer_reader.rs
@@ -6,10 +6,11 @@
 use crankpaddle_time::Time;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
+use std::time::Duration;
 
-/// A client that sends nothing, or begins a message and does not complete it, is closed after this time, nanoseconds. Bad clients
+/// A client that sends nothing, or begins a message and does not complete it, is closed after this time. Bad clients
 /// have to get an answer or a close within 3 s.
-const MESSAGE_TIMEOUT: u64 = 2_000_000_000;
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Bytes read from the kernel at once; then other coroutines run.
 const READ_SIZE: usize = 4096;
 
@@ -31,9 +32,9 @@
 
 /// Reads a viewer's connection until it ends.
 pub(crate) fn serve(socket: Socket, _slot: &ConnectionSlot, shared: &Arc<Shared>) {
-    let now = clock::now().as_nanos();
+    let now = clock::now();
     let socket = Arc::new(socket);
-    socket.set_expiry(Time(now.saturating_add(MESSAGE_TIMEOUT)));
+    socket.set_expiry(now + MESSAGE_TIMEOUT);
     shared.sweeper.watch(&socket);
     let outbox = WriteBuffer::new(socket.clone(), shared.budget.outbox);
     let id = shared.connections.next_id();
@@ -73,7 +74,7 @@
 
     /// Passes the messages in `bytes` on; false when the connection is to be closed.
     fn handle_bytes(&mut self, bytes: &[u8]) -> bool {
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         let decoded = self.decoder.feed(bytes, &mut self.messages);
         let has_complete_message = !self.messages.is_empty();
         if has_complete_message {
@@ -86,14 +87,14 @@
         }
         self.watch_partial_message(now, has_complete_message);
         // False: it sends something, and not in time what it is to send.
-        !self.connection.outbox.socket().is_expired(Time(now))
+        !self.connection.outbox.socket().is_expired(now)
     }
 
-    fn pass_messages_on(&mut self, now: u64) {
+    fn pass_messages_on(&mut self, now: Time) {
         let connection = self.connection;
         connection.outbox.socket().set_expiry(Time::MAX);
         connection.has_sent_message.store(true, Ordering::Relaxed);
-        connection.last_used.store(now, Ordering::Relaxed);
+        connection.set_last_used(now);
         connection
             .queued_messages
             .fetch_add(self.messages.len(), Ordering::AcqRel);
@@ -107,13 +108,13 @@
     }
 
     /// Bounds the time of a partially received message, from its first byte, not anew with each.
-    fn watch_partial_message(&mut self, now: u64, has_complete_message: bool) {
+    fn watch_partial_message(&mut self, now: Time, has_complete_message: bool) {
         let connection = self.connection;
         let is_partial = self.decoder.has_partial_message();
         let is_new = has_complete_message || !self.has_partial_message;
         if is_partial && is_new {
             let deadline = connection.message_deadline(now, MESSAGE_TIMEOUT);
-            connection.outbox.socket().set_expiry(Time(deadline));
+            connection.outbox.socket().set_expiry(deadline);
         }
         self.has_partial_message = is_partial;
         connection
