Net: failed writes and drained bodies are errors with named fields

`Socket::write_all` returned `(usize, io::Error)` and `HttpExchange::drain_body` `(u64, ExchangeError)`, of which a caller had to know what the number counts. They return `WriteError { written, source }` and `DrainError { received, source }`; the three callers that look at the number or at the cause read the fields. The clock's origin is a Time. The fields of the node's Counts say what they count. No behaviour changes.

--- a/crates/daemon/src/attempt_sender.rs
+++ b/crates/daemon/src/attempt_sender.rs
@@ -80,8 +80,8 @@
     }
     // "Never ran" is claimed only where nothing of the request was written: one byte of it may have been
     // enough.
-    if let Err((written, _)) = socket.write_all(&request.bytes) {
-        return ended(if written == 0 {
+    if let Err(error) = socket.write_all(&request.bytes) {
+        return ended(if error.written == 0 {
             AttemptOutcome::ConnectFailed
         } else {
             AttemptOutcome::Reset
--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -1,4 +1,4 @@
-//! The process's only clock: Unix time in nanoseconds as of its start, advanced monotonically.
+//! The process's only clock: Unix time as of its start, advanced monotonically.
 use crankpaddle_time::Time;
 use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -6,7 +6,7 @@
 /// The same instant on the monotonic and on the wall clock.
 struct Origin {
     instant: Instant,
-    unix_nanoseconds: u64,
+    unix_time: Time,
 }
 
 static ORIGIN: OnceLock<Origin> = OnceLock::new();
@@ -23,8 +23,8 @@
             .unwrap_or(Duration::ZERO);
         Origin {
             instant: Instant::now(),
-            unix_nanoseconds: unix.as_nanos() as u64,
+            unix_time: Time::ZERO + unix,
         }
     });
-    Time(origin.unix_nanoseconds) + origin.instant.elapsed()
+    origin.unix_time + origin.instant.elapsed()
 }
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -23,6 +23,16 @@
     Bad(#[from] HttpError),
 }
 
+/// A body that was not received completely.
+#[derive(Debug, thiserror::Error)]
+#[error("{source} (after {received} bytes of the body)")]
+pub struct DrainError {
+    /// Bytes of the body that were received.
+    pub received: u64,
+    /// Why the rest was not.
+    pub source: ExchangeError,
+}
+
 /// A connection that carries HTTP, and what was read beyond the last message.
 pub struct HttpExchange {
     /// The connection.
@@ -151,25 +161,31 @@
     /// Reads and discards a body; returns its length in bytes.
     ///
     /// # Errors
-    /// It is malformed or the connection failed, after the returned number of bytes.
-    pub fn drain_body(&mut self, framing: Framing) -> Result<u64, (u64, ExchangeError)> {
-        let mut body = Body::new(framing, u64::MAX).map_err(|malformed| (0, malformed.into()))?;
+    /// It is malformed or the connection failed, maybe after a part of the body.
+    pub fn drain_body(&mut self, framing: Framing) -> Result<u64, DrainError> {
+        let mut received = 0;
+        match self.discard_body(framing, &mut received) {
+            Ok(()) => Ok(received),
+            Err(source) => Err(DrainError { received, source }),
+        }
+    }
+
+    /// Reads and discards a body; `received` counts its bytes, also up to an error.
+    fn discard_body(&mut self, framing: Framing, received: &mut u64) -> Result<(), ExchangeError> {
+        let mut body = Body::new(framing, u64::MAX)?;
         let mut data = Vec::new();
-        let mut count = 0;
         loop {
-            let taken = body
-                .feed(&self.buffer, &mut data)
-                .map_err(|malformed| (count, malformed.into()))?;
+            let taken = body.feed(&self.buffer, &mut data)?;
             self.buffer.drain(..taken);
-            count += data.len() as u64;
+            *received += data.len() as u64;
             data.clear();
             if body.is_complete() {
-                return Ok(count);
+                return Ok(());
             }
             match self.fill_buffer() {
                 Ok(()) => {}
-                Err(_) if body.may_end_at_close() => return Ok(count),
-                Err(error) => return Err((count, error)),
+                Err(_) if body.may_end_at_close() => return Ok(()),
+                Err(error) => return Err(error),
             }
         }
     }
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -37,6 +37,16 @@
     closed: AtomicBool,
 }
 
+/// A write that failed before all bytes were written.
+#[derive(Debug, thiserror::Error)]
+#[error("{source} (after {written} bytes)")]
+pub struct WriteError {
+    /// Bytes that the kernel accepted; the peer may have received them.
+    pub written: usize,
+    /// Why the rest could not be written.
+    pub source: io::Error,
+}
+
 impl Socket {
     /// Takes a stream over. Small messages are sent without delay.
     #[must_use]
@@ -89,23 +99,31 @@
     /// Writes all bytes, waiting as needed. Only for the coroutine that waits on this socket.
     ///
     /// # Errors
-    /// The connection failed, after the returned number of bytes.
-    pub fn write_all(&self, bytes: &[u8]) -> Result<(), (usize, io::Error)> {
+    /// The connection failed, maybe after some of the bytes.
+    pub fn write_all(&self, bytes: &[u8]) -> Result<(), WriteError> {
         let mut written = 0;
         while written < bytes.len() {
-            match retry_interrupted(|| self.stream.inner().write(&bytes[written..])) {
-                Ok(Some(0)) => return Err((written, ErrorKind::WriteZero.into())),
-                Ok(Some(count)) => written += count,
-                Ok(None) if self.is_closed() => {
-                    return Err((written, ErrorKind::BrokenPipe.into()))
-                }
-                Ok(None) => self.wait(),
-                Err(error) => return Err((written, error)),
+            match self.write_some(&bytes[written..]) {
+                Ok(count) => written += count,
+                Err(source) => return Err(WriteError { written, source }),
             }
         }
         Ok(())
     }
 
+    /// Writes what the kernel accepts, or waits until it may accept something; returns how many bytes were written.
+    fn write_some(&self, bytes: &[u8]) -> io::Result<usize> {
+        match retry_interrupted(|| self.stream.inner().write(bytes))? {
+            Some(0) => Err(ErrorKind::WriteZero.into()),
+            Some(count) => Ok(count),
+            None if self.is_closed() => Err(ErrorKind::BrokenPipe.into()),
+            None => {
+                self.wait();
+                Ok(0)
+            }
+        }
+    }
+
     /// Waits until the socket can be read or written, is closed, or was woken.
     pub fn wait(&self) {
         self.stream.wait_io();
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -52,18 +52,18 @@
     Drain,
 }
 
-/// What a node holds at a moment.
+/// What a node holds at a moment, and logs as `counts`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
-    /// Set-ups without an answer.
+    /// Set-ups that viewers wait for: taken over by the core and not answered.
     pub waiting: usize,
-    /// Established sessions.
+    /// Sessions that play: established by a set-up or adopted, and not ended.
     pub playing: usize,
-    /// Connections from viewers.
+    /// Open connections from viewers.
     pub viewers: usize,
-    /// Connections to servers, those under way included.
+    /// Connections to servers, those that are being opened or closed included.
     pub links: usize,
-    /// Entries of the event loop's tables of sessions, attempts and what is still to be released.
+    /// Entries of the event loop's tables: sessions, attempts, abandoned set-ups, and messages that no connection could take.
     pub entries: usize,
 }
 
--- a/crates/testbed/src/player/client.rs
+++ b/crates/testbed/src/player/client.rs
@@ -73,7 +73,7 @@
             ("sec-websocket-protocol", Version::V2.subprotocol()),
         ];
         let request = head::request("GET", "/session", &address.to_string(), &fields, b"");
-        socket.write_all(&request).map_err(|(_, e)| e)?;
+        socket.write_all(&request).map_err(|error| error.source)?;
         let mut exchange = HttpExchange::new(socket.clone());
         let handshake_failed = |what: String| io::Error::new(ErrorKind::ConnectionRefused, what);
         let answer = exchange
--- a/crates/testbed/src/player/watch.rs
+++ b/crates/testbed/src/player/watch.rs
@@ -183,8 +183,8 @@
                 bytes,
                 complete: true,
             },
-            Err((bytes, _)) => Fetched {
-                bytes,
+            Err(error) => Fetched {
+                bytes: error.received,
                 complete: false,
             },
         })
