Merge the core's durations into the node

The core's public API takes and gives Duration now, so the node passes its durations on as they are. The bound on a viewer's wait was computed in two places; both call `longest_wait`.

--- a/crates/node/src/event_loop/client_requests.rs
+++ b/crates/node/src/event_loop/client_requests.rs
@@ -1,13 +1,12 @@
 //! What viewers send: set-ups, releases, tests, and the end of their connections.
 use super::session::{Session, SessionState};
 use super::wire_time::{from_fractional_milliseconds, from_milliseconds, whole_milliseconds};
-use super::{ConnectionId, EventLoop, DEADLINE_SLACK};
+use super::{longest_wait, ConnectionId, EventLoop};
 use crate::shared::increment;
 use crankpaddle_front::{Call, Input, OpenRequest, PlayerId, Time};
 use crankpaddle_net::clock;
 use crankpaddle_node_protocol::viewers::{self, cause, InvalidField, Message, SetUpParams};
 use crankpaddle_node_protocol::Tag;
-use crankpaddle_time::nanoseconds;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -118,14 +117,15 @@
         let pending = viewer.pending_set_ups.load(Ordering::Relaxed);
         if pending >= self.shared.budget.pending_set_ups_per_connection {
             increment(&self.shared.drop_counters.too_many_pending);
-            let retry_after = self.shared.config.fleet.settings.max_retry_after;
+            let retry_after =
+                Duration::from_nanos(self.shared.config.fleet.settings.max_retry_after);
             let message =
                 viewers::finish(session_id, cause::CONGESTION, retry_after_ms(retry_after));
             self.send_to_viewer(connection, &message);
             return;
         }
         viewer.pending_set_ups.fetch_add(1, Ordering::AcqRel);
-        viewer.extend_output_deadline(received_at + Duration::from_nanos(open.max_wait));
+        viewer.extend_output_deadline(received_at + open.max_wait);
         tracing::trace!(%session_id, connection_id = connection.0, opts = ?set_up.opts, "set-up received");
         let description = set_up.blob.clone().unwrap_or_default();
         let player = self.insert_session(Session {
@@ -172,9 +172,8 @@
             .ok_or(InvalidField("class"))?;
         let tenant = self.tenant_index(params.tenant.as_deref())?;
         let max_wait = from_milliseconds(params.max_wait_ms);
-        let longest_wait =
-            Duration::from_nanos(fleet.deadlines[class]).saturating_add(DEADLINE_SLACK);
-        if params.current_server.is_none() && max_wait > longest_wait {
+        let is_adoption = params.current_server.is_some();
+        if !is_adoption && max_wait > longest_wait(fleet.deadlines[class]) {
             return Err(InvalidField("left"));
         }
         let settings = &fleet.settings;
@@ -196,10 +195,8 @@
             first_cell: params.first_cell,
             cell_count: params.cell_count,
             max_rung: params.max_rung,
-            max_wait: nanoseconds(max_wait),
-            duration_hint: params
-                .duration_hint_ms
-                .map(|hint| nanoseconds(from_fractional_milliseconds(hint))),
+            max_wait,
+            duration_hint: params.duration_hint_ms.map(from_fractional_milliseconds),
             is_retry: params.is_retry,
             is_migration: params.is_migration,
         })
@@ -287,7 +284,7 @@
 }
 
 /// How long to stay away, in the milliseconds of the protocol; none where that is less than one.
-pub(super) fn retry_after_ms(retry_after: u64) -> Option<u64> {
-    let milliseconds = whole_milliseconds(Duration::from_nanos(retry_after));
+pub(super) fn retry_after_ms(retry_after: Duration) -> Option<u64> {
+    let milliseconds = whole_milliseconds(retry_after);
     (milliseconds > 0).then_some(milliseconds)
 }
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -97,19 +97,24 @@
     message_queue: VecDeque<InboxMessage>,
 }
 
+/// The longest that a viewer of a class may wait, from the class's deadline in the settings' nanoseconds.
+fn longest_wait(deadline: u64) -> Duration {
+    Duration::from_nanos(deadline.saturating_add(nanoseconds(DEADLINE_SLACK)))
+}
+
 fn core_config(shared: &Shared) -> CoreConfig {
     let deadlines = &shared.config.fleet.deadlines;
     CoreConfig {
         max_wait: deadlines
             .iter()
-            .map(|deadline| deadline.saturating_add(nanoseconds(DEADLINE_SLACK)))
+            .map(|deadline| longest_wait(*deadline))
             .collect(),
-        answer_margin: nanoseconds(ANSWER_MARGIN),
-        resume_window: 0,
-        recovered_resume_window: 0, // Nothing is persisted here.
+        answer_margin: ANSWER_MARGIN,
+        resume_window: Duration::ZERO,
+        recovered_resume_window: Duration::ZERO, // Nothing is persisted here.
         max_pending: shared.budget.pending_set_ups,
         max_pending_per_player: 1,
-        key_retention: 0,
+        key_retention: Duration::ZERO,
         max_retained_keys: 0, // Each set-up has an id of its own.
     }
 }
