Node protocol: load reports and updates are named figures; headers are read apart

A server's load report and its updates were tuples of a name and a number under the wire's names `state` and `note`; they are `Figure { name, value }` from `load_report` and `session_update`. Decoding a message reads its headers in a function of their own. Comments say in plain words what fields mean. `Socket::wake` is private, as only the socket uses it. Bytes on the wire, error texts and log lines stay.

--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -130,7 +130,7 @@
     }
 
     /// Wakes the coroutine that waits on this socket.
-    pub fn wake(&self) {
+    fn wake(&self) {
         self.stream.waker().wakeup();
     }
 
--- a/crates/node-protocol/src/directory.rs
+++ b/crates/node-protocol/src/directory.rs
@@ -50,14 +50,14 @@
 /// The complete list.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct List {
-    /// Number of the last event that is in it.
+    /// The number of the latest change that it includes.
     pub serial: u32,
     /// The servers.
     pub entries: Vec<Entry>,
 }
 
 impl List {
-    /// Whether its serial lies before the other's, by serial number arithmetic (RFC 1982): serials may pass their end.
+    /// Whether its serial is lower than the other's by serial number arithmetic (RFC 1982), as serials wrap around.
     #[must_use]
     pub fn is_older_than(&self, other: &List) -> bool {
         let ahead = other.serial.wrapping_sub(self.serial);
@@ -108,7 +108,7 @@
     ResponseError::Malformed(error.to_string())
 }
 
-/// The id of a message, which tells the query that it answers.
+/// The id of a message; a response has that of its query.
 #[must_use]
 pub fn message_id(bytes: &[u8]) -> Option<u16> {
     bytes.first_chunk().map(|id| u16::from_be_bytes(*id))
@@ -186,7 +186,8 @@
         records
     }
 
-    /// The server of a service record: its host's first two labels are its id and zone, the other fields stand in its text.
+    /// The server of a service record: its host's first two labels are its id and zone, the host's text record has its other
+    /// fields.
     fn entry(&self, service: &SRV) -> Result<Entry, ResponseError> {
         let host = service.target.to_lowercase();
         let mut labels = host.iter().map(lossy);
--- a/crates/node-protocol/src/lib.rs
+++ b/crates/node-protocol/src/lib.rs
@@ -7,8 +7,8 @@
 //! - [`config`]: the configuration that a node is started with.
 //!
 //! The two decoders are incremental: they are fed what a socket gives, buffer what is not complete yet, and never more than
-//! [`MAX_MESSAGE_BYTES`] of it, whatever length a peer claims. After an error a stream is of no use: nothing behind it can be
-//! trusted to begin where it seems to.
+//! [`MAX_MESSAGE_BYTES`] of it, whatever length a peer claims. After an error nothing more can be read from a stream, as the
+//! start of the next message is unknown.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 pub mod config;
@@ -21,5 +21,5 @@
 pub(crate) use receive_buffer::ReceiveBuffer;
 pub use tag::Tag;
 
-/// No message of a viewer or server is longer, in bytes.
+/// The longest message of a viewer or server, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 16 * 1024;
--- a/crates/node-protocol/src/rtsp/decode.rs
+++ b/crates/node-protocol/src/rtsp/decode.rs
@@ -5,16 +5,16 @@
 
 const VERSION: &str = "RTSP/1.0";
 
-/// Why a stream is of no use any more.
+/// Why no more messages can be read from a stream.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 pub enum DecodeError {
     /// A message is longer, or claims to be, than any may be.
     #[error("a message that is too long")]
     TooLong,
-    /// The first line is none.
+    /// The first line is neither a request's nor a response's.
     #[error("a first line that is none")]
     StartLine,
-    /// A header is none, or one that must stand once stands more often.
+    /// A line is no header, or repeats one that may occur only once.
     #[error("a header that is none")]
     Header,
     /// The length of the body is missing or no number.
@@ -25,7 +25,7 @@
     Text,
 }
 
-/// Reads what a server's connection gives.
+/// Decodes the byte stream of a server's connection.
 #[derive(Debug, Default)]
 pub struct Decoder(ReceiveBuffer);
 
@@ -33,7 +33,7 @@
     /// Takes bytes and adds the messages that are complete now to `messages`.
     ///
     /// # Errors
-    /// The stream is of no use any more; what was read before the error is in `messages`.
+    /// No more messages can be read from the stream; those before the error are in `messages`.
     pub fn feed(&mut self, bytes: &[u8], messages: &mut Vec<Message>) -> Result<(), DecodeError> {
         self.0.feed(bytes, |rest| {
             let Some(decoded) = decode_message(rest)? else {
@@ -57,6 +57,12 @@
     length: usize,
 }
 
+/// A message's headers, and how many bytes they take with the empty line behind them.
+struct HeaderSection {
+    headers: Headers,
+    length: usize,
+}
+
 /// A line without its end, and how many bytes it takes with it.
 struct Line<'a> {
     text: &'a [u8],
@@ -80,25 +86,18 @@
         return incomplete_first_line(rest);
     };
     let kind = start_line(first.text)?;
-    let mut headers = Headers::default();
-    let mut position = first.length;
-    loop {
-        let Some(line) = first_line(&head[position..]) else {
-            return incomplete(rest);
-        };
-        position += line.length;
-        if line.text.is_empty() {
-            break;
-        }
-        headers.read(line.text)?;
-    }
-    // Why: a claimed length is never trusted with memory or time; what can't be a message ends the stream at once.
+    let Some(section) = read_headers(&head[first.length..])? else {
+        return incomplete(rest);
+    };
+    let headers = section.headers;
+    let body_start = first.length + section.length;
+    // Why: a peer that claims a huge length must not make the node buffer or wait for it, so the claim alone is an error.
     let body_length = headers.content_length.ok_or(DecodeError::Length)?;
-    let end = position
+    let end = body_start
         .checked_add(body_length)
         .filter(|end| *end <= MAX_MESSAGE_BYTES)
         .ok_or(DecodeError::TooLong)?;
-    let Some(body) = rest.get(position..end) else {
+    let Some(body) = rest.get(body_start..end) else {
         return Ok(None);
     };
     let message = Message {
@@ -114,7 +113,21 @@
     }))
 }
 
-/// More must be received, unless it is too much already.
+/// Reads headers up to the empty line that ends them; none while that line was not received.
+fn read_headers(text: &[u8]) -> Result<Option<HeaderSection>, DecodeError> {
+    let mut headers = Headers::default();
+    let mut length = 0;
+    while let Some(line) = first_line(&text[length..]) {
+        length += line.length;
+        if line.text.is_empty() {
+            return Ok(Some(HeaderSection { headers, length }));
+        }
+        headers.read(line.text)?;
+    }
+    Ok(None)
+}
+
+/// The message is incomplete: none, or an error if it is too long already.
 fn incomplete(rest: &[u8]) -> Result<Option<Decoded>, DecodeError> {
     if rest.len() >= MAX_MESSAGE_BYTES {
         return Err(DecodeError::TooLong);
@@ -122,7 +135,7 @@
     Ok(None)
 }
 
-/// What begins like no message is an error at once: its end need not be waited for.
+/// The first line is incomplete: none, or an error at once if it can't become a message.
 fn incomplete_first_line(rest: &[u8]) -> Result<Option<Decoded>, DecodeError> {
     let may_be_message = rest.first().is_none_or(u8::is_ascii_uppercase);
     if !may_be_message {
@@ -131,8 +144,8 @@
     incomplete(rest)
 }
 
-/// A message's headers. The three that must stand once at most are kept apart: the outer option is whether one stands there, the
-/// inner whether it can be read.
+/// A message's headers. The three that may occur only once have fields of their own: the outer option is whether the header
+/// occurred, the inner whether its value could be read.
 #[derive(Default)]
 struct Headers {
     content_length: Option<usize>,
@@ -175,7 +188,7 @@
     !name.is_empty() && name.bytes().all(is_name_byte)
 }
 
-/// A number of nothing but digits.
+/// A number written in digits only, without a sign.
 fn decimal(text: &str) -> Option<usize> {
     let is_digits = text.bytes().all(|byte| byte.is_ascii_digit());
     if !is_digits {
--- a/crates/node-protocol/src/rtsp/encode.rs
+++ b/crates/node-protocol/src/rtsp/encode.rs
@@ -63,7 +63,7 @@
 /// Changes a session's rung.
 #[must_use]
 pub fn set_rung(tag: Tag, rung: u8) -> Vec<u8> {
-    let mut text = request("SET_PARAMETER", tag.as_str(), cseq::NOTE, tag);
+    let mut text = request("SET_PARAMETER", tag.as_str(), cseq::ONE_WAY, tag);
     let _ = write!(text, "Rate-Step: {rung}\r\n");
     finish(text, "")
 }
--- a/crates/node-protocol/src/rtsp/mod.rs
+++ b/crates/node-protocol/src/rtsp/mod.rs
@@ -15,8 +15,8 @@
     pub const TEAR_DOWN: u32 = 2;
     /// Of `OPTIONS`.
     pub const OPTIONS: u32 = 3;
-    /// Of what wants no answer.
-    pub const NOTE: u32 = 4;
+    /// Of requests that need no response.
+    pub const ONE_WAY: u32 = 4;
 }
 
 /// Statuses of responses that the node tells apart.
@@ -88,25 +88,39 @@
             .ok()
     }
 
-    /// The figures of a load report (`x0:0.4;x1:0.8`) by name; what can't be read is left out.
+    /// The load report in it, on the wire `X-State: x0:0.4;x1:0.8`; what can't be read is left out.
     #[must_use]
-    pub fn state(&self) -> Vec<(&str, f64)> {
-        self.header("X-State")
-            .unwrap_or_default()
-            .split(';')
-            .filter_map(|part| {
-                let (name, value) = part.split_once(':')?;
-                Some((name.trim(), finite(value)?))
-            })
-            .collect()
+    pub fn load_report(&self) -> Vec<Figure<'_>> {
+        let report = self.header("X-State").unwrap_or_default();
+        report.split(';').filter_map(Figure::parse).collect()
     }
 
-    /// An update on a session: its name and figure.
+    /// The update on a session in it, on the wire `X-Note` and `Figure`.
     #[must_use]
-    pub fn note(&self) -> Option<(&str, f64)> {
-        let figure = finite(self.header("Figure")?)?;
-        let name = self.header("X-Note")?;
-        Some((name.trim(), figure))
+    pub fn session_update(&self) -> Option<Figure<'_>> {
+        let value = finite(self.header("Figure")?)?;
+        let name = self.header("X-Note")?.trim();
+        Some(Figure { name, value })
+    }
+}
+
+/// A figure that a server reports, under the protocol's name for it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Figure<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Its value; finite.
+    pub value: f64,
+}
+
+impl<'a> Figure<'a> {
+    /// Reads `name:value`.
+    fn parse(text: &'a str) -> Option<Figure<'a>> {
+        let (name, value) = text.split_once(':')?;
+        Some(Figure {
+            name: name.trim(),
+            value: finite(value)?,
+        })
     }
 }
 
--- a/crates/node-protocol/src/viewers/decode.rs
+++ b/crates/node-protocol/src/viewers/decode.rs
@@ -6,13 +6,13 @@
 use std::collections::BTreeMap;
 use thiserror::Error;
 
-/// Why a stream is of no use any more.
+/// Why no more messages can be read from a stream.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 pub enum DecodeError {
     /// A line is longer than any message.
     #[error("a line of over {MAX_MESSAGE_BYTES} bytes")]
     TooLong,
-    /// A line is no message: what is wrong.
+    /// A line is not a message of the protocol; the text says why.
     #[error("no message: {0}")]
     NoMessage(String),
 }
@@ -28,7 +28,7 @@
     blob: Option<String>,
 }
 
-/// Reads what a viewer's connection gives.
+/// Decodes the byte stream of a viewer's connection.
 #[derive(Debug, Default)]
 pub struct Decoder(ReceiveBuffer);
 
@@ -36,7 +36,7 @@
     /// Takes bytes and adds the messages that are complete now to `messages`.
     ///
     /// # Errors
-    /// The stream is of no use any more; what was read before the error is in `messages`.
+    /// No more messages can be read from the stream; those before the error are in `messages`.
     pub fn feed(&mut self, bytes: &[u8], messages: &mut Vec<Message>) -> Result<(), DecodeError> {
         self.0.feed(bytes, |rest| {
             let head = &rest[..rest.len().min(MAX_MESSAGE_BYTES)];
@@ -72,21 +72,22 @@
             opts: decode_opts(line.opts)?,
             blob: line.blob,
         })),
-        "FINISH" => {
-            let cause = line
-                .rc
-                .as_ref()
-                .and_then(Value::as_u64)
-                .and_then(|rc| u16::try_from(rc).ok())
-                .ok_or_else(|| no_message("a release without a cause"))?;
-            Ok(Message::Finish { tag, cause })
-        }
+        "FINISH" => Ok(Message::Finish {
+            tag,
+            cause: finish_cause(line.rc.as_ref())?,
+        }),
         "ECHO" => Ok(Message::Echo(tag)),
         "PENDING" | "FINISHED" | "NOTICE" | "ECHOED" => Ok(Message::Idle),
         _ => Err(no_message("an unknown type")),
     }
 }
 
+fn finish_cause(rc: Option<&Value>) -> Result<u16, DecodeError> {
+    rc.and_then(Value::as_u64)
+        .and_then(|cause| u16::try_from(cause).ok())
+        .ok_or_else(|| no_message("a release without a cause"))
+}
+
 fn decode_opts(opts: BTreeMap<String, Value>) -> Result<Opts, DecodeError> {
     opts.into_iter()
         .map(|(name, value)| match value {
--- a/crates/node-protocol/src/viewers/mod.rs
+++ b/crates/node-protocol/src/viewers/mod.rs
@@ -10,9 +10,9 @@
 pub use encode::{echoed, finish, finished, moved, started};
 pub use set_up_params::{InvalidField, SetUpParams};
 
-/// Causes of a release that the protocol names.
+/// The protocol's causes of a release (`rc` on the wire).
 pub mod cause {
-    /// The session has come to its end; before the answer: the set-up is cancelled.
+    /// The session has ended normally; if it has no answer yet, its set-up is cancelled.
     pub const NORMAL: u16 = 16;
     /// Migrated, or ended by its viewer.
     pub const CANCELLED: u16 = 31;
@@ -26,8 +26,10 @@
     pub const INVALID: u16 = 100;
 }
 
-/// A set-up as it was sent. Its figures are read by [`SetUp::set_up_params`], so that one that is wrong in them can be
-/// answered by its tag.
+/// A set-up as it was sent.
+///
+/// Why its fields are read apart, by [`SetUp::set_up_params`]: a set-up with an invalid field still has a tag, by which it
+/// can be rejected.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SetUp {
     /// The session.
@@ -53,8 +55,8 @@
         /// Why.
         cause: u16,
     },
-    /// A test.
+    /// It tests whether the node answers.
     Echo(Tag),
-    /// Something that needs nothing done: progress, the acknowledgement of a release, a note.
+    /// A message that needs no action: progress, the acknowledgement of a release, a notice.
     Idle,
 }
--- a/crates/node-protocol/src/viewers/set_up_params.rs
+++ b/crates/node-protocol/src/viewers/set_up_params.rs
@@ -5,7 +5,7 @@
 
 /// The largest hint of a duration, milliseconds.
 const MAX_DURATION_HINT: f64 = 1e12;
-/// Cells and rungs are numbered below this.
+/// Bound of the numbers of cells and rungs.
 const SMALL_LIMIT: u32 = 65_536;
 
 /// The name of a field that is missing or out of range.
@@ -21,27 +21,27 @@
     pub class: String,
     /// Name of the tenant, where there are tenants.
     pub tenant: Option<String>,
-    /// How long the viewer waits, milliseconds; 0 where it plays already.
+    /// How long the viewer waits, milliseconds; 0 if the session plays already.
     pub max_wait_ms: u64,
-    /// Whether it is marked as a retry, or as coming again.
+    /// Whether the viewer states that this is a retry.
     pub is_retry: bool,
-    /// Whether it comes back from a migration.
+    /// Whether the viewer states that it opens a migrated session again.
     pub is_migration: bool,
-    /// The title as it came, which is how it is passed on.
+    /// The title as the viewer sent it; servers are sent the same text.
     pub title_text: String,
     /// The title's number.
     pub title: u64,
-    /// A guess of how long it is watched, milliseconds.
+    /// How long the viewer expects to watch, milliseconds.
     pub duration_hint_ms: Option<f64>,
-    /// First cell that holds the title.
+    /// The first of the cells that have the title.
     pub first_cell: u32,
-    /// Cells that hold it.
+    /// How many cells have the title.
     pub cell_count: u32,
-    /// Best rung of the viewer.
+    /// The highest rung that the viewer can play.
     pub max_rung: u8,
-    /// Who watches.
+    /// The viewer's number.
     pub viewer: u64,
-    /// The server at which it plays already.
+    /// The server at which the session plays already, if it does.
     pub current_server: Option<String>,
 }
 
@@ -74,7 +74,7 @@
 }
 
 impl SetUpParams {
-    /// Reads the fields that come in one text, `name:value;name:value`. Four of them must stand there.
+    /// Reads the fields of `extras`, a text of the form `name:value;name:value`. Four of them are required.
     fn read_extras(&mut self, extras: &str) -> Result<(), InvalidField> {
         let mut required = 0;
         for part in extras.split(';').filter(|part| !part.is_empty()) {
@@ -108,7 +108,7 @@
         Ok(())
     }
 
-    /// How long the viewer waits. Nobody waits for a session that plays already: what the field holds there means nothing.
+    /// How long the viewer waits. The field has no meaning for a session that plays already.
     fn max_wait(&self, left: Option<&str>) -> Result<u64, InvalidField> {
         let left = left.and_then(decimal).filter(|left| *left > 0);
         if self.current_server.is_some() {
@@ -124,7 +124,7 @@
     is_in_range.then_some(hint)
 }
 
-/// A number of nothing but digits.
+/// A number written in digits only, without a sign.
 fn decimal(text: &str) -> Option<u64> {
     let is_digits = text.bytes().all(|byte| byte.is_ascii_digit());
     if !is_digits {
@@ -144,7 +144,7 @@
     u64::from_str_radix(text, 16).ok()
 }
 
-/// A flag that is not set is missing or `0`.
+/// A flag: `1`, or `0` or missing where it is not set.
 fn flag(text: Option<&str>) -> Option<bool> {
     match text {
         None | Some("0") => Some(false),
--- a/crates/node-protocol/tests/codecs.rs
+++ b/crates/node-protocol/tests/codecs.rs
@@ -1,5 +1,5 @@
 //! The stream codecs: complete messages, byte by byte, garbage, and false lengths.
-use crankpaddle_node_protocol::rtsp::{self, Kind};
+use crankpaddle_node_protocol::rtsp::{self, Figure, Kind};
 use crankpaddle_node_protocol::viewers::{self, InvalidField, Message};
 use crankpaddle_node_protocol::{Tag, MAX_MESSAGE_BYTES};
 use proptest::prelude::*;
@@ -240,7 +240,8 @@
         (m.kind.clone(), m.cseq, m.session),
         (Kind::Response(200), Some(1), Some(tag(5)))
     );
-    assert_eq!(m.state(), [("x0", 0.75), ("x1", 1.5)]);
+    let figures = [("x0", 0.75), ("x1", 1.5)].map(|(name, value)| Figure { name, value });
+    assert_eq!(m.load_report(), figures);
     assert_eq!(m.text(), Some("a\r\n\r\nb\u{e9}"));
 }
 
@@ -249,7 +250,8 @@
     let head = "ANNOUNCE rtsp://media/x RTSP/1.0\r\nCSeq: 9\r\nSession: 00000000000000ab\r\n";
     let bytes = format!("{head}X-Note: link_use\r\nFigure: 0.925\r\nContent-Length: 0\r\n\r\n");
     let (messages, _) = decode_servers(bytes.as_bytes(), &[MAX_MESSAGE_BYTES]);
-    assert_eq!(messages[0].note(), Some(("link_use", 0.925)));
+    let (name, value) = ("link_use", 0.925);
+    assert_eq!(messages[0].session_update(), Some(Figure { name, value }));
     let bytes = rtsp::release(tag(3), 41);
     assert_eq!(decode_servers(&bytes, &[1]).0[0].cause(), Some(41));
     assert_eq!(
--- a/crates/node-protocol/tests/wire_text.rs
+++ b/crates/node-protocol/tests/wire_text.rs
@@ -1,6 +1,6 @@
 //! Wire text: the exact bytes that the node writes to viewers, servers and the directory, and what each kind of message read from them
 //! decodes to. Names in the code may change; the literals here may not.
-use crankpaddle_node_protocol::rtsp::Kind;
+use crankpaddle_node_protocol::rtsp::{Figure, Kind};
 use crankpaddle_node_protocol::viewers::Message;
 use crankpaddle_node_protocol::{directory, rtsp, viewers, Tag};
 
@@ -205,6 +205,10 @@
     }
 }
 
+fn figure(name: &str, value: f64) -> Figure<'_> {
+    Figure { name, value }
+}
+
 #[test]
 fn headers_and_body_of_a_servers_message_are_kept_as_they_came() {
     let message = from_server(
@@ -223,9 +227,12 @@
         headers.map(|(name, value)| (name.to_owned(), value.to_owned()))
     );
     assert_eq!(
-        (message.cause(), message.note()),
-        (Some(41), Some(("link_use", 0.5)))
+        (message.cause(), message.session_update()),
+        (Some(41), Some(figure("link_use", 0.5)))
+    );
+    assert_eq!(
+        message.load_report(),
+        [figure("x0", 0.25), figure("x1", -1.0)]
     );
-    assert_eq!(message.state(), [("x0", 0.25), ("x1", -1.0)]);
     assert_eq!(message.body, b"abc");
 }
--- a/crates/node/src/event_loop/server_messages.rs
+++ b/crates/node/src/event_loop/server_messages.rs
@@ -3,7 +3,7 @@
 use crate::shared::LinkId;
 use crankpaddle_front::{AttemptId, AttemptOutcome, Input, LoadReport, ServerId, SessionUpdate};
 use crankpaddle_net::clock;
-use crankpaddle_node_protocol::rtsp::{self, cseq, status, Kind};
+use crankpaddle_node_protocol::rtsp::{self, cseq, status, Figure, Kind};
 use crankpaddle_node_protocol::viewers::cause;
 
 impl EventLoop {
@@ -52,9 +52,7 @@
     }
 
     fn handle_update(&mut self, attempt: Option<AttemptId>, message: &rtsp::Message) {
-        let update = message
-            .note()
-            .and_then(|(name, figure)| session_update(name, figure));
+        let update = message.session_update().and_then(session_update);
         if let (Some(attempt), Some(update)) = (attempt, update) {
             self.notify_core(Input::SessionUpdated(attempt, update));
         }
@@ -94,17 +92,15 @@
 
     /// The figures of a message's load report that the settings name, in their order.
     pub(super) fn load_report(&self, message: &rtsp::Message) -> LoadReport {
-        let figures = message.state();
-        let figure = |wanted: &str| {
-            figures
-                .iter()
-                .find(|(name, _)| *name == wanted)
-                .map(|(_, figure)| *figure)
+        let figures = message.load_report();
+        let value_of = |name: &str| {
+            let figure = figures.iter().find(|figure| figure.name == name)?;
+            Some(figure.value)
         };
         let fields = &self.shared.config.fleet.fields;
         fields
             .iter()
-            .filter_map(|(name, field)| Some((*field, figure(name)?)))
+            .filter_map(|(name, field)| Some((*field, value_of(name)?)))
             .collect()
     }
 }
@@ -119,12 +115,13 @@
 }
 
 /// An update in the core's terms; the names are the server protocol's.
-fn session_update(name: &str, figure: f64) -> Option<SessionUpdate> {
-    Some(match name {
-        "served" => SessionUpdate::DeliveryRatio(figure),
-        "at_rung" => SessionUpdate::Rung(figure.clamp(0.0, 255.0).round() as u8),
-        "link_use" => SessionUpdate::LinkDemand(figure),
-        "rack_use" => SessionUpdate::UplinkDemand(figure),
+fn session_update(figure: Figure<'_>) -> Option<SessionUpdate> {
+    let value = figure.value;
+    Some(match figure.name {
+        "served" => SessionUpdate::DeliveryRatio(value),
+        "at_rung" => SessionUpdate::Rung(value.clamp(0.0, 255.0).round() as u8),
+        "link_use" => SessionUpdate::LinkDemand(value),
+        "rack_use" => SessionUpdate::UplinkDemand(value),
         _ => return None,
     })
 }
