Node: comments in plain technical English

Many comments of the node described what code does by riddles or figures of speech ("whatever made the server silent", "what lies unread", "who is answered"). They name the subject, what it does and why now. The removed endpoint of a list is made in a function of its own; no other code changes.

--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -33,8 +33,8 @@
     socket.set_reuse_address(true)?; // A restart need not wait until the kernel forgets old connections.
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
-    // SAFETY: the descriptor was just made and is given away by `into_raw_fd`: nobody else owns it. may has no safe
-    // way to take a listener over.
+    // SAFETY: the descriptor was just made, and `into_raw_fd` gives up its ownership: it has no other owner. may has no safe
+    // way to adopt a listener.
     Ok(unsafe { TcpListener::from_raw_fd(socket.into_raw_fd()) })
 }
 
--- a/crates/net/src/socket/connect.rs
+++ b/crates/net/src/socket/connect.rs
@@ -71,7 +71,7 @@
 
 #[allow(unsafe_code)]
 fn take_over(socket: socket2::Socket) -> Socket {
-    // SAFETY: the descriptor was made by `connect` and is given away by `into_raw_fd`: nobody else owns it. may has no
-    // safe way to take a stream over.
+    // SAFETY: the descriptor was made by `connect`, and `into_raw_fd` gives up its ownership: it has no other owner. may has
+    // no safe way to adopt a stream.
     Socket::new(unsafe { TcpStream::from_raw_fd(socket.into_raw_fd()) })
 }
--- a/crates/node/src/budget.rs
+++ b/crates/node/src/budget.rs
@@ -20,7 +20,8 @@
 /// Bounds that follow from the limits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Budget {
-    /// Viewers' connections. Viewers hold at most a third of all descriptors; the rest is headroom to close bad ones.
+    /// Viewers' connections. Honest viewers need at most a third of all descriptors; the rest is headroom, so that faulty
+    /// clients can be accepted and closed.
     pub(crate) viewers: usize,
     /// Connections to servers.
     pub(crate) links: usize,
--- a/crates/node/src/directory_poller.rs
+++ b/crates/node/src/directory_poller.rs
@@ -26,9 +26,9 @@
 /// # Errors
 /// No socket can be had, or the thread can't be started.
 pub(crate) fn start(shared: Arc<Shared>, stopped: Arc<AtomicBool>) -> io::Result<()> {
-    // Why: a socket that is opened when the directory moves needs a descriptor at a time when silent clients may hold
-    // them all. This one is bound at the start, from the node's own address, and connected to whichever directory is
-    // polled; only that one's datagrams come through.
+    // Why: opening a socket when the directory's address changes could fail, as silent clients may hold all descriptors then.
+    // This one is bound at the start, to the node's own address, and connected to each directory in turn; the kernel
+    // passes on only that directory's datagrams.
     let socket = UdpSocket::bind(SocketAddr::new(shared.config.listen.ip(), 0))?;
     let thread = std::thread::Builder::new()
         .name("directory".into())
@@ -70,9 +70,9 @@
 impl CurrentList {
     /// Takes a received list over; the list, if it differs from the one in force.
     ///
-    /// Why: an old response would bring back servers that are gone. Serials go on wherever the directory is polled, so a lower one
-    /// is never taken, whichever directory sends it. The price: a directory that starts counting anew is ignored until a
-    /// restart, which is logged.
+    /// Why: an old response would list servers that have been removed. All directories of a fleet count the same serials, so a
+    /// list with a lower serial is ignored, whichever directory sends it. The cost: a directory that restarts its serials is
+    /// ignored until the node restarts, which is logged.
     fn update(&mut self, received: List) -> Option<List> {
         if received.is_older_than(&self.list) {
             self.note_stale_response(&received);
@@ -112,7 +112,7 @@
 }
 
 impl QuerySocket {
-    /// Polls this directory from now on; queries to the previous one may not be answered any more.
+    /// Polls this directory from now on; responses of the previous one are ignored.
     fn connect(&mut self, directory: SocketAddr) {
         if self.directory == Some(directory) {
             return;
@@ -153,8 +153,8 @@
 
     /// The response to any of the queries, within the time to the next.
     ///
-    /// Why: a directory that takes longer than that would never be heard if only the last query counted. A response may be as
-    /// old as [`MAX_RESPONSE_AGE`]; a later change has a higher serial, which goes before it.
+    /// Why: if only the latest query counted, no response of a directory that takes longer than that would ever be used. A
+    /// response may be as old as [`MAX_RESPONSE_AGE`]: a newer list has a higher serial and replaces it.
     fn receive_list(&mut self) -> Option<List> {
         let deadline = Instant::now() + RESPONSE_TIMEOUT;
         let mut bytes = [0u8; MAX_RESPONSE_BYTES];
@@ -169,7 +169,7 @@
                     }
                 }
                 Err(error) if is_timeout(&error) => return None,
-                Err(_) => std::thread::sleep(left), // Nobody listens there, or the machine can't send.
+                Err(_) => std::thread::sleep(left), // No process listens there, or the machine can't send.
             }
         }
     }
@@ -191,7 +191,7 @@
                 self.outstanding.remove(position);
                 Some(list)
             }
-            // Others may be responses to earlier queries, or another copy of this one: the right one may still come.
+            // The query stays outstanding: a usable response to it may still come.
             Err(error) => {
                 tracing::debug!(reason = %error, "unusable directory response");
                 None
--- a/crates/node/src/event_loop/attempt.rs
+++ b/crates/node/src/event_loop/attempt.rs
@@ -11,7 +11,7 @@
     pub(super) rung: u8,
     /// When the attempt times out.
     pub(super) deadline: Time,
-    /// How often a link was looked for.
+    /// How often a link was searched for it.
     pub(super) connect_attempts: u32,
     pub(super) state: AttemptState,
 }
--- a/crates/node/src/event_loop/attempt_dispatch.rs
+++ b/crates/node/src/event_loop/attempt_dispatch.rs
@@ -1,8 +1,8 @@
-//! How a set-up leaves the node: checked once more, given a link, written.
+//! Sending a set-up to its server: it is checked once more, assigned a link, and written.
 //!
-//! An attempt that the core decides on joins the dispatch queue; so does one whose link came up. Attempts are dispatched after
-//! all that was received has been decided on, each checked right before: whether its viewer still waits, as far as the kernel
-//! knows, and whether the core still lets it go.
+//! An attempt enters the dispatch queue when the core starts it, and again when the link that it waits for is up. Attempts are
+//! dispatched after the core has decided on all that was received. Right before that, each is checked: whether its viewer
+//! still waits, as far as the kernel knows, and whether the core still allows it.
 use super::attempt::{Attempt, AttemptState};
 use super::wire_time::whole_milliseconds;
 use super::EventLoop;
@@ -24,19 +24,19 @@
     ready_since: Time,
 }
 
-/// While more of its viewer's connection is to be read, a set-up is deferred for so long at most: a tenth of a second after a
-/// viewer has gone none may begin, and the viewer's last message may lie behind much else.
+/// The longest time that a set-up is deferred while its viewer's connection has unread input, which may contain the cancel. It
+/// must not begin later than a tenth of a second after its viewer has left.
 const MAX_DEFERRAL: Duration = Duration::from_millis(50);
-/// Deferred set-ups are checked again after this time, in which all sockets are read.
+/// Time after which deferred set-ups are checked again; meanwhile all sockets are read.
 pub(super) const RECHECK_INTERVAL: Duration = Duration::from_millis(1);
-/// How often a link is looked for, for one set-up of which nothing was written.
+/// How often a link is searched for one set-up of which nothing was written.
 const MAX_CONNECT_ATTEMPTS: u32 = 2;
-/// Links to one server at most, each with one set-up in progress; beyond, set-ups share links.
+/// Most links to one server. Up to that each set-up in progress has a link of its own; further ones share links.
 const MAX_LINKS_PER_SERVER: usize = 8;
-/// Descriptors of links that are being closed, beyond those of the budget.
+/// Most descriptors of links that are being closed, in addition to the budget.
 const MAX_CLOSING_LINKS: usize = 8;
 
-/// What becomes of an attempt in the dispatch queue.
+/// What is done with an attempt in the dispatch queue.
 enum DispatchDecision {
     Dispatch,
     Defer,
@@ -81,7 +81,7 @@
         self.queue_for_dispatch(attempt, None);
     }
 
-    /// Queues an attempt; it is dispatched on `link` if that is good.
+    /// Queues an attempt; it is dispatched on `link` if that is usable.
     pub(super) fn queue_for_dispatch(&mut self, id: AttemptId, link: Option<LinkId>) {
         if let Some(attempt) = self.attempts.get_mut(&id) {
             attempt.state = AttemptState::Queued;
@@ -93,12 +93,12 @@
         });
     }
 
-    /// Dispatches what is ready, once through the queue.
+    /// Goes through the queue once and dispatches the attempts that are ready.
     ///
-    /// Why: between the decision and the first byte a viewer may close or cancel, a server drain or restart, or an admission slot
-    /// at a server that warms up pass: connects take up to a second, and decisions on a flood of requests a good part of one on a
-    /// small share of a core. What was not written has not run, so it can be withdrawn without effect. What crosses a viewer's
-    /// last message on the network is dispatched all the same.
+    /// Why each is checked again: between the decision and the first byte, its viewer may close or cancel, its server may drain
+    /// or restart, or its admission slot at a server that warms up may pass. A connect takes up to a second, and so do decisions
+    /// on a flood of requests on a small share of a core. A set-up of which nothing was written has not run, so it can be
+    /// withdrawn without effect. A cancel that is still on the network is not noticed.
     pub(super) fn dispatch_queued(&mut self) {
         for _ in 0..self.dispatch_queue.len() {
             let Some(queued) = self.dispatch_queue.pop_front() else {
@@ -143,8 +143,8 @@
 
     /// Finds a link for a set-up of which nothing was written yet.
     ///
-    /// Why: a connection may be reset right when it is new, and the server be taken for one that can't be connected to; so
-    /// the search is retried once.
+    /// Why the search is retried once: a new connection may be reset at once, and the server would be taken for one that can't be
+    /// connected to.
     fn dispatch(&mut self, id: AttemptId, preferred: Option<LinkId>) {
         if preferred.is_some_and(|link| self.write_set_up(id, link)) {
             return;
@@ -171,7 +171,7 @@
     }
 
     /// Writes a set-up on the server's most recently used free link, if it has one. Each set-up has a link of its own while there
-    /// are enough: a malformed answer then spoils no other.
+    /// are enough, so that a malformed response fails no other set-up.
     fn dispatch_on_free_link(&mut self, id: AttemptId, server: ServerId) -> bool {
         while let Some(link) =
             self.find_link(server, |link| link.is_usable() && link.pending.is_empty())
@@ -184,7 +184,7 @@
         false
     }
 
-    /// Opens another link to a server, if there is capacity. A server without any may take the descriptor of an idle link.
+    /// Opens another link to a server, if there is capacity. For a server without any link, an idle link is closed if needed.
     fn open_link_for_set_up(&mut self, server: ServerId) -> Option<LinkId> {
         let links = self
             .servers
@@ -199,9 +199,9 @@
 
     /// Puts a set-up on the link with the fewest others, one that is up before one that is connecting.
     ///
-    /// Why: while all its links are still connecting none is up; a server that is only busy accepting would be taken for one that
-    /// can't be connected to. One that does not read what was written before takes nothing more: the set-up would begin when the
-    /// server reads again, whatever has become of its viewer.
+    /// Why links that are connecting count: if all are, a server that is only slow to accept would be taken for one that can't be
+    /// connected to. A link whose earlier bytes the server has not read gets no further set-up: it would begin only when the
+    /// server reads again, and its viewer may have left by then.
     fn dispatch_on_shared_link(&mut self, id: AttemptId, server: ServerId) {
         let Some(link) = self.least_loaded_link(server) else {
             return self.connect_failed(id);
@@ -228,10 +228,10 @@
             .map(|(id, _)| id)
     }
 
-    /// Whether another link may be opened; those that are being closed hold their descriptors still.
+    /// Whether another link may be opened. Links that are being closed count by their descriptors.
     ///
-    /// Why: connects that were given up hold their descriptors until they time out; not counted, as where a list replaces many
-    /// servers at once, they would take those of viewers.
+    /// Why: a cancelled connect keeps its descriptor until it times out. When a list replaces many servers at once, uncounted
+    /// ones would use up the descriptors of viewers.
     pub(super) fn has_link_capacity(&self) -> bool {
         let descriptors = self.shared.links.load(Ordering::Relaxed);
         let budget = self.shared.budget.links;
@@ -271,7 +271,7 @@
             rung: attempt.rung,
             blob: session.description(),
         });
-        // Why: what is written into a connection that was just closed may have run for all that is known.
+        // Why: once a byte was written to a connection that just closed, the set-up may have run.
         if !link.is_usable() || !outbox.socket().is_open() || !outbox.push(&message) {
             return false;
         }
--- a/crates/node/src/event_loop/attempt_lifecycle.rs
+++ b/crates/node/src/event_loop/attempt_lifecycle.rs
@@ -10,11 +10,11 @@
 use crankpaddle_node_protocol::viewers::cause;
 use std::time::Duration;
 
-/// A server that answers an abandoned set-up later than this is not waited for any more.
+/// How long after a set-up was abandoned its session is still released if the server accepts it late.
 const LATE_ANSWER_PERIOD: Duration = Duration::from_secs(10);
 
 impl EventLoop {
-    /// An attempt without an answer so far has ended without a session.
+    /// Ends an attempt that has no answer: no session was established.
     pub(super) fn complete_set_up(
         &mut self,
         attempt: AttemptId,
@@ -47,7 +47,7 @@
         Some(attempt)
     }
 
-    /// Abandons an attempt. Its server may answer all the same.
+    /// Abandons an attempt. Its server may still answer it.
     pub(super) fn abandon_attempt(&mut self, id: AttemptId, server: ServerId) {
         let Some(attempt) = self.remove_attempt(id) else {
             return;
@@ -73,11 +73,11 @@
         }
     }
 
-    /// Whether nothing waits for an answer on a link and some of what was written to it has not been sent.
+    /// Whether no attempt waits for an answer on a link and some of what was written to it has not been sent.
     ///
-    /// Why: before a server that does not read, a set-up lies here or with the kernel and would begin when the server reads again,
-    /// long after its viewer has gone. Closing a connection cancels all that is in progress on it, so a close stands for the
-    /// cancel. Where others wait on the same link the set-up stays behind them.
+    /// Why: if the server does not read, an unsent set-up would begin when it reads again, long after its viewer has left.
+    /// Closing the connection cancels all that is in progress on it, so a close replaces the cancel. If other attempts wait on
+    /// the same link, it stays open.
     fn holds_only_unsent(&self, link: LinkId) -> bool {
         self.links
             .get(&link)
@@ -103,7 +103,7 @@
         }
     }
 
-    /// A session that plays at a server already is known from now on.
+    /// Records a session that plays at a server already.
     pub(super) fn adopt(&mut self, player: PlayerId, attempt: AttemptId, server: ServerId) {
         let now = clock::now();
         let Some(session_id) = self.sessions.get(&player).map(|session| session.session_id) else {
--- a/crates/node/src/event_loop/client_notifications.rs
+++ b/crates/node/src/event_loop/client_notifications.rs
@@ -7,7 +7,7 @@
 use crankpaddle_node_protocol::Tag;
 
 impl EventLoop {
-    /// Sends to a viewer's connection; false if it is gone.
+    /// Sends to a viewer's connection; false if it is closed.
     pub(super) fn send_to_viewer(&self, connection: ConnectionId, bytes: &[u8]) -> bool {
         self.connections.get(&connection).is_some_and(|connection| {
             !connection.outbox.socket().is_closed() && connection.outbox.push(bytes)
@@ -78,8 +78,8 @@
 
     /// Sends the end of a session on its connection or on another.
     ///
-    /// Why: a connection that never had a session may be a stranger's, and the notification would be lost there; so only those
-    /// that had one are used, the latest first.
+    /// Why only connections that had a session are used, the latest first: any other may belong to an unrelated client, which
+    /// would drop the notification.
     fn send_notification(&mut self, connection: ConnectionId, message: Vec<u8>) {
         if let Some(connection) = self.connections.get(&connection) {
             connection.extend_output_deadline(clock::now() + RELEASE_RETRY_PERIOD);
@@ -108,7 +108,7 @@
     }
 }
 
-/// What a viewer is sent; none where it is not told.
+/// The message for a notification; none if the protocol has none for it.
 fn notification_message(session_id: Tag, notification: &Notification) -> Option<Vec<u8>> {
     match notification {
         Notification::RungChanged(_) => None, // The protocol has no message for rungs.
--- a/crates/node/src/event_loop/client_requests.rs
+++ b/crates/node/src/event_loop/client_requests.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// A set-up whose fields are in range.
+/// A set-up whose fields are in range, as the protocol and as the core have it.
 struct SetUpRequest {
     params: SetUpParams,
     open: OpenRequest,
@@ -54,8 +54,8 @@
         }
     }
 
-    /// A set-up under the id of another one. One that is to be adopted may name a session that is known already. Any other is
-    /// closed without an answer. Why: an answer by this id would be taken for that of the set-up that has it.
+    /// A set-up under the id of another one. An adoption may name a session that is known already, and is ignored. For any other
+    /// the connection is closed without an answer. Why: an answer names the id, and would be taken for the other set-up's.
     fn handle_duplicate(&mut self, connection: ConnectionId, request: Option<&SetUpRequest>) {
         let is_adoption = request.is_some_and(|request| request.params.current_server.is_some());
         if !is_adoption {
@@ -78,7 +78,7 @@
         );
     }
 
-    /// Adopts a session that plays already, if the list has its server.
+    /// Adopts a session that plays already, if the list in force has its server.
     fn adopt_session(&mut self, session_id: Tag, request: SetUpRequest) {
         let SetUpRequest { params, open } = request;
         let Some(server) = params
@@ -142,7 +142,7 @@
         });
     }
 
-    /// Makes a session known by its id; the player that it is to the core.
+    /// Adds a session to the tables; returns the player number by which the core knows it.
     fn insert_session(&mut self, session: Session) -> PlayerId {
         self.last_player += 1;
         let player = PlayerId(self.last_player);
@@ -246,7 +246,7 @@
         };
         self.session_connections.retain(|other| *other != id);
         if connection.pending_set_ups.load(Ordering::Relaxed) == 0 {
-            return; // Most connections: all sessions need not be looked at for each.
+            return; // True of most connections, and saves a search through all sessions.
         }
         let pending: Vec<PlayerId> = self
             .sessions
@@ -268,7 +268,7 @@
         Some(session)
     }
 
-    /// One set-up fewer waits for its answer on this connection.
+    /// Counts one pending set-up less on this connection.
     pub(super) fn set_up_answered(&self, connection: ConnectionId) {
         if let Some(connection) = self.connections.get(&connection) {
             connection.pending_set_ups.fetch_sub(1, Ordering::AcqRel);
@@ -283,7 +283,7 @@
     }
 }
 
-/// How long to stay away, in the milliseconds of the protocol; none where that is less than one.
+/// Retry advice in the protocol's milliseconds; none if it is less than one.
 pub(super) fn retry_after_ms(retry_after: Duration) -> Option<u64> {
     let milliseconds = whole_milliseconds(retry_after);
     (milliseconds > 0).then_some(milliseconds)
--- a/crates/node/src/event_loop/core_driver.rs
+++ b/crates/node/src/event_loop/core_driver.rs
@@ -9,9 +9,9 @@
 const HEALTH_CHECK_SESSION: &str = "0000000000000000";
 
 impl EventLoop {
-    /// Gives the core an input, or, while its outputs are being carried out, queues the input behind them. Outputs that are due
-    /// whatever the policy decides are carried out now; the policy decides in [`EventLoop::decide`], once all that lies in the
-    /// inbox was handled.
+    /// Passes an input to the core; while the core's outputs are being carried out, queues it behind them. Outputs that do not
+    /// depend on the policy are carried out now; the policy decides in [`EventLoop::decide`], after all messages of the inbox
+    /// were handled.
     pub(super) fn notify_core(&mut self, input: Input) {
         self.pending_inputs.push_back(input);
         if !self.is_carrying_out {
@@ -24,7 +24,7 @@
         while let Some(input) = self.pending_inputs.pop_front() {
             self.core
                 .handle_input(clock::now(), input, &mut self.outputs);
-            self.publish_counts(); // Before whoever is answered can ask for them.
+            self.publish_counts(); // Before the answer is sent: its receiver may read them.
             self.carry_out_outputs();
         }
         self.is_carrying_out = false;
@@ -41,7 +41,8 @@
             self.is_carrying_out = true;
             self.dispatch_queued();
             self.is_carrying_out = false;
-            // What was withdrawn, or found no connection, is decided on again; each request has a bounded number of attempts.
+            // Attempts that were withdrawn or found no connection are decided on again. The loop ends: each request has a
+            // bounded number of attempts.
             if self.pending_inputs.is_empty() {
                 return;
             }
--- a/crates/node/src/event_loop/endpoint_list.rs
+++ b/crates/node/src/event_loop/endpoint_list.rs
@@ -22,14 +22,14 @@
     field: &'static str,
 }
 
-/// A list, sorted into what fits the settings and what does not.
+/// A list, split into servers that fit the settings and those that do not.
 struct SortedList {
     endpoints: BTreeMap<ServerId, Entry>,
     incompatible: Vec<IncompatibleServer>,
 }
 
 impl EventLoop {
-    /// Takes a list over: the core is notified of what has changed.
+    /// Applies a list: the core is notified of the changes.
     pub(super) fn update_endpoints(&mut self, list: List, kind: EndpointListKind) {
         let now = clock::now();
         let SortedList {
@@ -42,29 +42,30 @@
         let previous = std::mem::take(&mut self.endpoints);
         let mut changes = Vec::new();
         for (id, entry) in &previous {
-            if listed.contains_key(id) {
-                continue;
-            }
-            if let Ok(endpoint) = self.endpoint(*id, entry) {
-                changes.push(Endpoint {
-                    lifecycle: Lifecycle::Removed,
-                    ..endpoint
-                });
+            if !listed.contains_key(id) {
+                changes.extend(self.removed_endpoint(*id, entry));
+                self.server_unlisted(*id);
             }
-            self.server_unlisted(*id);
         }
         for (id, entry) in &listed {
             let before = previous.get(id);
-            if before == Some(entry) && kind == EndpointListKind::Delta {
-                continue;
+            if before != Some(entry) || kind != EndpointListKind::Delta {
+                changes.extend(self.endpoint(*id, entry));
+                self.server_listed(*id, entry, before, now);
             }
-            changes.extend(self.endpoint(*id, entry));
-            self.server_listed(*id, entry, before, now);
         }
         self.endpoints = listed;
         self.notify_of_changes(kind, changes);
     }
 
+    fn removed_endpoint(&self, id: ServerId, entry: &Entry) -> Option<Endpoint> {
+        let endpoint = self.endpoint(id, entry).ok()?;
+        Some(Endpoint {
+            lifecycle: Lifecycle::Removed,
+            ..endpoint
+        })
+    }
+
     fn notify_of_changes(&mut self, kind: EndpointListKind, changes: Vec<Endpoint>) {
         let draining: Vec<ServerId> = changes
             .iter()
@@ -113,12 +114,12 @@
         }
     }
 
-    /// Whether a list may be taken over; incompatible servers are logged once, when they change. `has_no_endpoints`: it has no
+    /// Whether a list may be applied; incompatible servers are logged once, when they change. `has_no_endpoints`: it has no
     /// other servers.
     ///
-    /// Why: taken for the first zone or kind that the settings name, what belongs to another deployment would be counted and sent
-    /// to as ours; and a list of nothing but such servers, as of a directory that is not ours, would end all sessions here. A
-    /// server that is listed with a zone or kind that the settings lack takes no part until they name it.
+    /// Why: a server with a zone, kind or cell that the settings do not name may be another deployment's, so it gets no set-ups
+    /// until the settings name them. A list that has only such servers comes from another deployment's directory; applied, it
+    /// would end all sessions here.
     fn accept_list(
         &mut self,
         incompatible: Vec<IncompatibleServer>,
@@ -178,8 +179,8 @@
         (interval > 0).then_some(Duration::from_nanos(interval))
     }
 
-    /// A server is not in the list any more. Its links go on while the server holds them, but a new connection to its
-    /// address may reach another server, so none is made.
+    /// A server is not in the list any more. Its links stay open until the server closes them, but no new connection is made,
+    /// as its address may be another server's by now.
     fn server_unlisted(&mut self, id: ServerId) {
         let Some(server) = self.servers.get_mut(&id) else {
             return;
--- a/crates/node/src/event_loop/link.rs
+++ b/crates/node/src/event_loop/link.rs
@@ -20,7 +20,7 @@
 pub(super) enum LinkState {
     /// The connect has not completed.
     Connecting,
-    /// It is up, as far as was noticed.
+    /// It is up; that it ended may not have been noticed yet.
     Connected {
         outbox: Arc<WriteBuffer>,
         /// Since when it is not to be used, because an attempt on it timed out in silence.
--- a/crates/node/src/event_loop/maintenance.rs
+++ b/crates/node/src/event_loop/maintenance.rs
@@ -1,20 +1,20 @@
-//! What is due from time to time: servers and links are looked through, notifications are retried, counts are logged.
+//! Periodic work: servers and links are checked, notifications are retried, counts are logged.
 use super::{ConnectionId, EventLoop, UnsentMessage};
 use crate::shared::LinkId;
 use crankpaddle_front::{ServerId, Time};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// Links, and what is to be released, are looked through so often.
+/// How often servers, links and unsent notifications are checked.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(100);
-/// Counters are logged so often.
+/// How often counts are logged.
 const COUNTS_LOG_INTERVAL: Duration = Duration::from_secs(10);
-/// Load estimates are traced so often.
+/// How often load estimates are traced.
 const LOAD_TRACE_INTERVAL: Duration = Duration::from_millis(500);
-/// A link on which an attempt timed out in silence is closed after this time.
+/// How long a link stays open after an attempt on it timed out in silence.
 const UNRESPONSIVE_LINK_LIFETIME: Duration = Duration::from_secs(2);
 
-/// Something that is done at an interval, counted from when it was last found due.
+/// When periodic work is due. The interval counts from when it was last found due.
 pub(super) struct Periodic {
     due_at: Time,
     interval: Duration,
@@ -128,8 +128,7 @@
         }
     }
 
-    /// Sends a notification on any connection that takes it. Where none that had a session is left, any that has sent something
-    /// is better than none.
+    /// Sends a notification on any connection that accepts it: one that had a session, or else any that has sent a message.
     fn retry_notification(&mut self, message: UnsentMessage) {
         let have_sent = self
             .connections
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -53,11 +53,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Messages handled before timers are looked at.
+/// Messages handled before timers are checked.
 const MESSAGE_BATCH: usize = 128;
-/// A set-up is answered so long before its viewer times out at the latest.
+/// A set-up is answered at least this long before its viewer times out.
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
-/// What a viewer may wait beyond its class's deadline; more is out of range.
+/// How much longer than its class's deadline a viewer may wait; a longer wait is out of range.
 const DEADLINE_SLACK: Duration = Duration::from_secs(1);
 /// A release that can't be sent is retried for this long.
 const RELEASE_RETRY_PERIOD: Duration = Duration::from_secs(8);
@@ -80,7 +80,7 @@
     endpoints: BTreeMap<ServerId, Entry>,
     /// Servers of the last list that do not fit the settings.
     incompatible_servers: Vec<IncompatibleServer>,
-    /// Notifications to viewers that no connection could take.
+    /// Notifications to viewers that no connection accepted.
     unsent_notifications: VecDeque<UnsentMessage>,
     last_player: u64,
     last_link: u64,
@@ -93,7 +93,7 @@
     outputs: Vec<Output>,
     /// When draining began.
     drain_started_at: Option<Time>,
-    /// What was taken from the inbox behind the message that is being handled.
+    /// Messages taken from the inbox that have not been handled.
     message_queue: VecDeque<InboxMessage>,
 }
 
@@ -181,7 +181,7 @@
         tracing::info!("shutdown complete");
     }
 
-    /// Waits until a message comes or something is due; breaks when nobody can send any more.
+    /// Waits until a message comes or something is due; breaks when the inbox has no sender any more.
     fn wait_for_message(
         &mut self,
         inbox: &Receiver<InboxMessage>,
@@ -210,7 +210,7 @@
         }
     }
 
-    /// Handles what came while the whole process stood still before anything that fell due meanwhile.
+    /// After the whole process was stalled, handles the messages that came meanwhile before the timers that fell due.
     fn catch_up_after_stall(&mut self, inbox: &Receiver<InboxMessage>) {
         let due_at = self.next_core_expiry();
         let stalled = drain_after_stall(due_at, || self.drain_inbox(inbox) == MESSAGE_BATCH);
@@ -223,7 +223,7 @@
         self.core.next_expiry().unwrap_or(Time::MAX)
     }
 
-    /// Handles what was queued before and what lies in the inbox, one batch at most; how many messages came from the inbox.
+    /// Handles the queued messages and at most one batch from the inbox; returns how many came from the inbox.
     fn drain_inbox(&mut self, inbox: &Receiver<InboxMessage>) -> usize {
         let count = drain_queue(inbox, MESSAGE_BATCH, |message| self.enqueue(message));
         while let Some(message) = self.message_queue.pop_front() {
--- a/crates/node/src/event_loop/server.rs
+++ b/crates/node/src/event_loop/server.rs
@@ -18,15 +18,15 @@
     pub(super) attempts: HashMap<Tag, AttemptId>,
     /// How many of these are established.
     pub(super) established: usize,
-    /// Set-ups that were abandoned, and until when a late answer is released.
+    /// Set-ups that were abandoned, and until when a session is released if the server accepts one late.
     pub(super) abandoned: HashMap<Tag, Time>,
-    /// Messages that no link could take.
+    /// Messages that no link accepted.
     pub(super) unsent: VecDeque<UnsentMessage>,
 }
 
-/// A message that no connection could take.
+/// A message that no connection accepted.
 pub(super) struct UnsentMessage {
-    /// Until when sending it is tried again.
+    /// Until when sending it is retried.
     pub(super) expires_at: Time,
     pub(super) bytes: Vec<u8>,
 }
--- a/crates/node/src/event_loop/server_links.rs
+++ b/crates/node/src/event_loop/server_links.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 
 impl EventLoop {
-    /// A server's link of which this holds, the most recently used first.
+    /// The most recently used link of a server that `accepts` holds for.
     pub(super) fn find_link(
         &self,
         server: ServerId,
@@ -66,8 +66,8 @@
         Some(link)
     }
 
-    /// Closes the idle link that was silent for longest, so that another can be opened; false if there is none. A server with
-    /// established sessions keeps its last link.
+    /// Closes the link that has been idle and silent for longest, so that another can be opened; false if there is none. A server
+    /// with established sessions keeps its last link.
     pub(super) fn close_idle_link(&mut self) -> bool {
         let idle_link = |id: &LinkId| {
             let link = self.links.get(id)?;
@@ -129,7 +129,7 @@
         let has_link = self
             .find_link(server, |link| !link.is_connecting())
             .is_some();
-        // Why: a process that closes its listener first may still run its sessions; its links show that.
+        // Why: a process that is shutting down may close its listener while its sessions still run; its open links show that.
         let may_still_run = has_link && failure == ConnectFailure::Refused;
         if is_lost && !may_still_run {
             self.server_lost(server);
@@ -155,8 +155,8 @@
         }
     }
 
-    /// A link that was only opened to check whether the server is alive came up: others with nothing pending are closed.
-    /// Whatever made the server silent, this one is known to be good.
+    /// A link that was opened only to check whether the server is alive is up: others with nothing pending are closed, as the
+    /// cause of the server's silence may be in them.
     fn close_older_links(&mut self, newest: LinkId, server: ServerId) {
         let Some(server) = self.servers.get(&server) else {
             return;
@@ -177,7 +177,7 @@
         }
     }
 
-    /// Attempts that wait for a link to come up are queued for dispatch on it, or on another.
+    /// Queues the attempts that wait for a link to come up for dispatch, on it or on another.
     fn requeue_pending(&mut self, id: LinkId) {
         let Some(link) = self.links.get_mut(&id) else {
             return;
@@ -210,16 +210,16 @@
             .collect()
     }
 
-    /// Attempts that wait for a connect to this server are checked anew, before it completes.
+    /// Checks the attempts that wait for a connect to this server again, before it completes.
     pub(super) fn requeue_connecting(&mut self, server: ServerId) {
         for link in self.connecting_links(server) {
             self.requeue_pending(link);
         }
     }
 
-    /// Cancels the connects to a server that are in progress; attempts that wait for them look for another link.
+    /// Cancels the connects to a server that are in progress; attempts that wait for them are assigned another link.
     ///
-    /// Why: the address may be another server's by now, and a set-up would reach one that it may not go to.
+    /// Why: the address may be another server's by now, which must not get these set-ups.
     pub(super) fn cancel_connects(&mut self, server: ServerId) {
         for link in self.connecting_links(server) {
             self.requeue_pending(link);
@@ -244,11 +244,10 @@
 
     /// A link has ended: attempts on it end, each once.
     ///
-    /// Why: a connection that breaks is how a process dies, and the policy then takes its server for one that warms
-    /// up; but one connection may break, or bring malformed bytes, while the process lives. That is known from what
-    /// it just sent or from another connection that is up; then the set-up ends as one that the server failed. Either
-    /// may have run. Where a dying process closes its connections one by one, the first may be taken for a fault of
-    /// that connection alone.
+    /// Why there are two outcomes: when a process dies its connections break, and after `Reset` the policy treats the server as
+    /// warming up. But one connection may break, or carry malformed bytes, while the process lives, which the malformed bytes
+    /// or another open link show; then the outcome is `ServerError`. In both cases the set-up may have run. The cost: if a
+    /// dying process closes its connections one by one, the first may be taken for a fault of that connection alone.
     pub(super) fn link_ended(&mut self, id: LinkId, end: LinkEnd) {
         let Some(link) = self.links.remove(&id) else {
             return;
@@ -279,7 +278,7 @@
         self.ensure_observed(server_id, clock::now());
     }
 
-    /// An attempt without an answer loses its link.
+    /// Ends an attempt without an answer whose link has ended.
     fn fail_pending(&mut self, id: AttemptId, server: ServerId, outcome: AttemptOutcome) {
         let Some(attempt) = self.attempts.get(&id) else {
             return;
@@ -290,7 +289,7 @@
         }
         let session_id = attempt.session_id;
         self.complete_set_up(id, outcome, LoadReport::new());
-        // Why: the answer may have been on its way, and the session would go on there without a viewer.
+        // Why: the response may have been on its way, and the session would play there without a viewer.
         self.send_to_server(server, None, rtsp::release(session_id, cause::CUT));
     }
 }
--- a/crates/node/src/event_loop/server_liveness.rs
+++ b/crates/node/src/event_loop/server_liveness.rs
@@ -1,9 +1,9 @@
-//! Whether servers with sessions are alive, and the end of sessions at those that are not.
+//! Checks whether servers with sessions are alive, and ends the sessions at those that are not.
 use super::{EventLoop, Link};
 use crankpaddle_front::{AttemptId, AttemptOutcome, Input, LoadReport, ServerId, Time};
 
 impl EventLoop {
-    /// Sees to it that a server from which messages are needed has a link, and is connected to when it is silent.
+    /// Connects to a server from which messages are needed if it has no link or is silent.
     pub(super) fn ensure_observed(&mut self, id: ServerId, now: Time) {
         let has_link = self.find_link(id, Link::is_responsive).is_some();
         let is_connecting = self.find_link(id, Link::is_connecting).is_some();
@@ -24,13 +24,13 @@
         }
     }
 
-    /// The list reports that a server began a new incarnation at `started_at`, or is at another address now: what ran in the
-    /// previous one has ended.
+    /// The list reports that a server began a new incarnation at `started_at`, or has another address now: sessions of the
+    /// previous incarnation have ended.
     ///
-    /// Why: a machine that vanished and came back sends nothing about its previous incarnation, and messages of its new one
-    /// arrive, so that sessions of the previous one would stay here for ever; set-ups and releases would go out on dead
-    /// connections. And the list may be late: what was set up in the new incarnation before the list came goes on. A
-    /// server whose clock is ahead of ours by more than its start was late loses the sessions set up within that time.
+    /// Why: a machine that failed and restarted sends nothing about its previous incarnation, while messages of the new one show
+    /// that it is alive; sessions of the previous one would never end here, and set-ups and releases would be written to dead
+    /// connections. The list may be late, so sessions that were set up after `started_at` go on. If the server's clock is
+    /// ahead of ours, sessions that it set up in the time by which it is ahead end too.
     pub(super) fn new_incarnation(&mut self, id: ServerId, started_at: Time, has_moved: bool) {
         if has_moved {
             self.cancel_connects(id);
@@ -54,7 +54,7 @@
         }
     }
 
-    /// All sessions at a server have ended.
+    /// A server is lost: all sessions there have ended.
     pub(super) fn server_lost(&mut self, id: ServerId) {
         let Some(server) = self.servers.get_mut(&id) else {
             return;
@@ -66,7 +66,7 @@
         self.close_links(id);
     }
 
-    /// Established attempts at a server whose set-up was sent at a time of which `sent` holds, by id.
+    /// The ids of the established attempts at a server whose set-up was sent at a time for which `sent` holds, in order.
     fn established_attempts(&self, id: ServerId, sent: impl Fn(Time) -> bool) -> Vec<AttemptId> {
         let Some(server) = self.servers.get(&id) else {
             return Vec::new();
@@ -85,7 +85,7 @@
         established
     }
 
-    /// Sessions at a server have ended with it.
+    /// Ends sessions that were lost with their server.
     fn end_sessions(&mut self, server: ServerId, lost: Vec<AttemptId>) {
         if !lost.is_empty() {
             tracing::info!(server_id = server.0, sessions = lost.len(), "server lost");
--- a/crates/node/src/event_loop/server_messages.rs
+++ b/crates/node/src/event_loop/server_messages.rs
@@ -85,7 +85,7 @@
         let outcome = release_outcome(message);
         self.remove_attempt(id);
         if outcome == AttemptOutcome::Cancelled {
-            self.remove_session(player); // Its viewer ended it, or it was migrated: no release is to be sent.
+            self.remove_session(player); // The viewer ended it, or it was migrated: the viewer is sent no release.
         }
         self.notify_core(Input::SessionEnded(id, outcome, report));
     }
--- a/crates/node/src/event_loop/set_up_responses.rs
+++ b/crates/node/src/event_loop/set_up_responses.rs
@@ -41,9 +41,9 @@
             return self.link_ended(link, LinkEnd::Malformed);
         };
         self.set_answered_description(attempt, description);
-        // Why: a session may be over when its answer is read: a viewer leaves a stream that is served far too little at once, and
-        // the release comes right behind the answer. "Established" would then reach a viewer who has gone, which counts as no
-        // answer at all. Only what was read together is seen.
+        // Why: a session may have ended when its response is read: a viewer leaves at once if far too little is delivered, and
+        // the release follows the response directly. The message that the session is established would then reach a viewer that
+        // has left, and count as no answer at all. Only a release that was read together with the response is found.
         if let Some(release) = self.release_behind(server, message.session) {
             self.notify_core(Input::SessionEnded(
                 attempt,
@@ -63,8 +63,8 @@
             .is_some_and(|attempt| attempt.state.is_awaiting_answer_on(link))
     }
 
-    /// An abandoned set-up that the server accepts all the same must not go on, so it is released. Any other response under an
-    /// id that no attempt waits for, or a second copy, is dropped.
+    /// Releases the session if its set-up was abandoned and the server accepted it after all. Any other response that no attempt
+    /// waits for, and a second response to one set-up, is dropped.
     fn handle_unexpected_response(
         &mut self,
         link: LinkId,
@@ -88,8 +88,10 @@
             .is_some_and(|server| server.abandoned.remove(&session_id).is_some())
     }
 
-    /// Why: a viewer must be sent the server's description on every way that reports its session as established; on the one for
-    /// sessions that were over already it was the viewer's own, and the session counted as never answered.
+    /// Keeps the server's description for the answer.
+    ///
+    /// Why it is set before the core is notified: every answer that reports the session as established must carry it. For
+    /// sessions that had ended already the viewer's own description was sent, and the session counted as never answered.
     fn set_answered_description(&mut self, attempt: AttemptId, description: &str) {
         let Some(attempt) = self.attempts.get(&attempt) else {
             return;
--- a/crates/node/src/event_loop/shutdown.rs
+++ b/crates/node/src/event_loop/shutdown.rs
@@ -1,19 +1,19 @@
-//! Graceful shutdown: when the node may end.
+//! Graceful shutdown: new set-ups are rejected, and the node ends when no work is pending.
 use super::EventLoop;
 use crate::viewer_connection::UnreadInput;
 use crankpaddle_front::Input;
 use crankpaddle_net::{clock, sleep};
 use std::time::Duration;
 
-/// Requests still arrive for so long after the drain began.
+/// How long requests may still arrive after the drain began.
 const ARRIVAL_PERIOD: Duration = Duration::from_millis(900);
-/// What is unread then is read for this time more; beyond, only a client that never stops has any.
+/// How much longer unread input keeps the node running; after that, only a client that never stops sending has any.
 const UNREAD_PERIOD: Duration = Duration::from_secs(2);
-/// Before the node ends, all sockets are read for this long.
+/// How long all sockets are read before the node ends.
 const FINAL_READ: Duration = Duration::from_millis(20);
 
 impl EventLoop {
-    /// Takes no new set-up from now on; a second call changes nothing.
+    /// Rejects new set-ups from now on; a second call has no effect.
     pub(super) fn begin_drain(&mut self) {
         if self.drain_started_at.is_some() {
             return;
@@ -23,7 +23,7 @@
         self.notify_core(Input::Drain);
     }
 
-    /// Whether nothing is pending any more, twice with a pause in between in which all that the kernel holds is read.
+    /// Whether no work is pending, checked twice; in the pause between the checks the sockets are read.
     pub(super) fn has_ended(&self) -> bool {
         if self.has_pending_work() {
             return false;
@@ -32,8 +32,9 @@
         !self.has_pending_work()
     }
 
-    /// Why: a process that ends takes with it what is unread, unhandled or unsent, also where each set-up that it handled has its
-    /// answer. A client that sends without a pause, or never reads an answer, keeps the process for the stated periods only.
+    /// Why: when the process ends, input that is unread or unhandled and output that is unsent are lost, even if each handled
+    /// set-up was answered. A client that never stops sending, or never reads an answer, delays the end by no more than
+    /// the periods above.
     fn has_pending_work(&self) -> bool {
         let Some(started_at) = self.drain_started_at else {
             return true;
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -1,11 +1,11 @@
-//! What a server's messages and silence mean for the sessions that are established there.
+//! Failure detection: what a server's messages and silence mean for the sessions that are established there.
 //!
-//! A process that dies resets its connections; a machine that vanishes sends nothing. A server with sessions sends something
-//! every few seconds (updates on its link), so one that is silent for longer is checked by connecting to it: whoever accepts
-//! is alive, also when it hangs.
+//! When a process dies, the kernel resets its connections; when a machine fails, nothing more is received from it. A server
+//! with sessions sends updates every few seconds, so one that is silent for longer is checked by a connect: a server that
+//! accepts it is alive, even if it hangs.
 //!
-//! Why: sessions of a vanished machine would stay here for ever. The price: on a network that drops two connects in a row,
-//! sessions that play are given up.
+//! Why: sessions at a failed machine would otherwise never end here. The cost: on a network that drops two connects in a row,
+//! sessions that still play are ended.
 use crankpaddle_time::Time;
 use std::time::Duration;
 
@@ -13,7 +13,7 @@
 const SILENCE_GRACE: Duration = Duration::from_millis(500);
 /// Time between updates where the settings name none.
 const DEFAULT_UPDATE_INTERVAL: Duration = Duration::from_secs(4);
-/// Connects without a response, one after the other, that prove that a machine vanished.
+/// Connects in a row without a response after which a machine is taken for failed.
 const MAX_MISSED_CONNECTS: u32 = 2;
 /// Backoff after a failed connect.
 const CONNECT_BACKOFF: Duration = Duration::from_millis(200);
@@ -25,7 +25,7 @@
 /// Why a connect failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ConnectFailure {
-    /// Nobody listens there: the process is dead.
+    /// No process listens there: the server is dead.
     Refused,
     /// Nothing was received in time.
     NoResponse,
@@ -62,12 +62,12 @@
         self.missed_connects = 0;
     }
 
-    /// A session is established there: silence before that is no sign of anything.
+    /// A session is established there. Silence before that does not count: a server without sessions sends nothing.
     pub(crate) fn session_established(&mut self, now: Time) {
         self.last_received = self.last_received.max(now);
     }
 
-    /// Whether to connect, so as to learn of the sessions there. `has_link`: there is a connection already.
+    /// Whether to connect, to receive messages about the sessions there. `has_link`: there is a connection already.
     pub(crate) fn wants_connect(&self, now: Time, has_link: bool) -> bool {
         let is_silent = now.duration_since(self.last_received) > self.max_silence;
         now >= self.backoff_until && (!has_link || is_silent)
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,8 +1,9 @@
 //! The front node: the session front's core on the platform's sockets.
 //!
-//! One coroutine, the event loop, owns the core and is the only one that acts; all others read one socket each, send
-//! the event loop what they read and write what it gives them. Servers, rungs, retries, rejections and retry advice
-//! are chosen by the placement policy behind [`crankpaddle_front::Core`]; nothing here chooses any of them.
+//! One coroutine, the event loop, owns the core and handles all messages; each other coroutine reads one socket, passes
+//! its messages to the event loop, and writes what the event loop has queued for that socket. The placement policy behind
+//! [`crankpaddle_front::Core`] chooses servers, rungs, retries, rejections and retry advice; nothing here chooses any of
+//! them.
 //!
 //! - `event_loop`: all messages in one order, and what is done about each;
 //! - `viewer_reader`, `viewer_connection`, `connection_table`: the viewers' connections;
@@ -63,7 +64,7 @@
         directory_poller::start(shared.clone(), stopped.clone())?;
         spawn(Stack::Large, move || {
             event_loop.run(&inbox);
-            let _ = finished.send(()); // Nobody may wait.
+            let _ = finished.send(()); // The node may have been dropped.
         });
         let (for_slots, for_viewers) = (shared.clone(), shared.clone());
         accept_while_capacity(
@@ -86,11 +87,11 @@
         self.address
     }
 
-    /// Takes over what may change while it runs: the directory's address.
+    /// Applies the one setting that may change while the node runs: the directory's address.
     ///
-    /// Why: a file of another node or customer, put in this one's place by mistake, names a directory that lists another
-    /// fleet. So nothing of a file that differs in more is taken over; settings that changed wait for a restart, and keep the
-    /// directory's new address waiting with them.
+    /// Why: a file of another node or customer, put in place by mistake, names a directory that lists another fleet. So a file
+    /// in which anything else differs is rejected as a whole. If other settings have changed too, the new address also
+    /// applies only after a restart.
     ///
     /// # Errors
     /// The configuration is not this node's; the one in force stays as it is.
@@ -116,7 +117,7 @@
         let _ = TcpStream::connect(self.address); // Wakes the listener, which finds that it is stopped.
     }
 
-    /// What the node holds now; all of it goes back to nothing when nothing is in progress.
+    /// What the node holds now. All counts return to zero when no connection and no session is left.
     pub fn counts(&self) -> Counts {
         self.shared.counts()
     }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -55,7 +55,7 @@
 /// What a node holds at a moment, and logs as `counts`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
-    /// Set-ups that viewers wait for: taken over by the core and not answered.
+    /// Set-ups that the core has accepted for a decision and that have no answer.
     pub waiting: usize,
     /// Sessions that play: established by a set-up or adopted, and not ended.
     pub playing: usize,
@@ -70,7 +70,7 @@
 /// What was rejected or dropped, by kind; logged with the counts.
 #[derive(Debug, Default)]
 pub(crate) struct DropCounters {
-    /// Viewers' connections with bytes that are no messages.
+    /// Viewers' connections that were closed because of a malformed message.
     pub(crate) malformed: AtomicU64,
     /// Set-ups with a field that is missing or out of range.
     pub(crate) out_of_range: AtomicU64,
@@ -78,7 +78,7 @@
     pub(crate) duplicate: AtomicU64,
     /// Set-ups beyond what one connection may have without an answer.
     pub(crate) too_many_pending: AtomicU64,
-    /// Servers' connections with bytes that are no messages.
+    /// Servers' connections that were closed because of a malformed message.
     pub(crate) broken_links: AtomicU64,
     /// Servers' responses that no attempt waits for.
     pub(crate) unexpected_responses: AtomicU64,
@@ -100,7 +100,7 @@
     nameserver: Mutex<SocketAddr>,
 }
 
-/// Connections are looked through so often for those that have expired.
+/// How often connections are checked for expiry.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
 
 impl Shared {
--- a/crates/node/src/viewer_connection.rs
+++ b/crates/node/src/viewer_connection.rs
@@ -27,7 +27,7 @@
     pub(crate) pending_set_ups: AtomicUsize,
     /// Whether a message is partially received.
     pub(crate) has_partial_message: AtomicBool,
-    /// Until when anybody waits for what is in the outbox, nanoseconds of the clock.
+    /// Until when the viewer waits for what is in the outbox, nanoseconds of the clock.
     output_deadline: AtomicU64,
     /// Whether a complete message was received.
     pub(crate) has_sent_message: AtomicBool,
@@ -49,7 +49,7 @@
         }
     }
 
-    /// Somebody waits for what is written until then; the time never gets shorter.
+    /// The viewer waits for what is written until then; an earlier time has no effect.
     pub(crate) fn extend_output_deadline(&self, until: Time) {
         self.output_deadline
             .fetch_max(until.as_nanos(), Ordering::Relaxed);
@@ -80,9 +80,9 @@
     }
 
     /// Whether anything is pending on it: input that is unread, input that was read and is not handled, set-ups that
-    /// were handled and have no answer, and answers that the kernel has not taken while somebody waits for them. A
-    /// set-up passes through these in turn and is in one of them at any time, so whoever closes a connection, or
-    /// ends, checks this and nothing else.
+    /// were handled and have no answer, and answers that the kernel has not accepted while the viewer still waits. A
+    /// set-up passes through these states in turn and is in one of them at any time, so this check alone decides whether
+    /// a connection may be closed or the node may end.
     ///
     /// Why: load shedding and shutdown each looked at handled set-ups only; one that was read and still queued, or whose
     /// answer a slow reader had not taken, was lost.
@@ -100,8 +100,8 @@
 
     /// When a message that begins now must be complete.
     ///
-    /// Why: closed within it, the connection would take with it the set-ups that wait for their answers there; these come
-    /// first.
+    /// Why: if the connection were closed at the deadline, pending set-ups on it would lose their answers; so it leaves time
+    /// for these.
     pub(crate) fn message_deadline(&self, now: Time, timeout: Duration) -> Time {
         let start = if self.has_unanswered_input() {
             now.max(self.output_deadline())
--- a/crates/node/src/viewer_reader.rs
+++ b/crates/node/src/viewer_reader.rs
@@ -23,7 +23,7 @@
     }
 }
 
-/// A slot for one more connection. If none is free, the connection of least use is closed, so that one soon is.
+/// A slot for one more connection. If none is free, the least used connection is closed, so that one soon is.
 pub(crate) fn acquire_slot(shared: &Arc<Shared>) -> Option<ConnectionSlot> {
     let is_acquired = shared.connections.acquire_slot();
     let slot = ConnectionSlot(shared.clone());
@@ -86,7 +86,7 @@
             return false;
         }
         self.watch_partial_message(now, has_complete_message);
-        // False: it sends something, and not in time what it is to send.
+        // An expired connection is closed here if it still sends: the sweeper spares connections with unread bytes.
         !self.connection.outbox.socket().is_expired(now)
     }
 
@@ -107,7 +107,7 @@
         }
     }
 
-    /// Bounds the time of a partially received message, from its first byte, not anew with each.
+    /// Sets the deadline of a partially received message at its first byte; later bytes do not extend it.
     fn watch_partial_message(&mut self, now: Time, has_complete_message: bool) {
         let connection = self.connection;
         let is_partial = self.decoder.has_partial_message();
