Node tests: whole names for connections, requests and answers

Local names of the tests were cut short or left from the earlier house style (`conn`, `asked`, `told`, `spoilt`, `crowd`). They are whole words of the field now.

--- a/crates/node/tests/adopted_sessions.rs
+++ b/crates/node/tests/adopted_sessions.rs
@@ -24,7 +24,7 @@
         1,
         "a second time and an unknown server add nothing"
     );
-    let (server, conn) = harness.establish(&mut viewer, tag(2), FREE);
+    let (server, connection) = harness.establish(&mut viewer, tag(2), FREE);
     viewer.send_json(&at(2));
     assert_eq!(viewer.echo()["verb"], "ECHOED");
     assert_eq!(
@@ -32,8 +32,11 @@
         2,
         "one that is held already stays one"
     );
-    server.send(conn, &session_update(tag(1), "at_rung", 1.0));
-    server.send(conn, &crankpaddle_node_protocol::rtsp::release(tag(1), 16));
+    server.send(connection, &session_update(tag(1), "at_rung", 1.0));
+    server.send(
+        connection,
+        &crankpaddle_node_protocol::rtsp::release(tag(1), 16),
+    );
     let end = viewer.next_message();
     assert_eq!(
         (&end["verb"], &end["tag"]),
@@ -47,11 +50,11 @@
     let mut viewer = harness.viewer();
     harness.establish(&mut viewer, tag(9), FREE);
     let server = Server::start(7);
-    let mut told = listed_servers(&harness.servers);
-    told.extend(listed_servers(std::slice::from_ref(&server)));
+    let mut listed = listed_servers(&harness.servers);
+    listed.extend(listed_servers(std::slice::from_ref(&server)));
     harness
         .directory
-        .update(|t| (t.serial, t.servers) = (2, told));
+        .update(|t| (t.serial, t.servers) = (2, listed));
     harness.directory.wait_for_queries(3);
     viewer.send_json(&set_up(tag(1), PAID, "-1", &format!(";at:{}", server.name)));
     server.wait_for_connection(); // Its notes and releases need a connection.
--- a/crates/node/tests/events.rs
+++ b/crates/node/tests/events.rs
@@ -268,21 +268,24 @@
     server.send(link, &session_update(tag(1), "at_rung", 1.0));
     observed.until("note 0");
     // A retry is set up; the server sends an update before its response.
-    let mut again = set_up(tag(2), FREE, "15000", ";again:1");
-    again["opts"]["retry"] = serde_json::json!("1");
-    viewer.send_json(&again);
-    let (_, conn, _) = harness.next_set_up();
-    server.send(conn, &session_update(tag(2), "link_use", 0.25));
-    server.send(conn, &accepted(tag(2), "x"));
+    let mut retry = set_up(tag(2), FREE, "15000", ";again:1");
+    retry["opts"]["retry"] = serde_json::json!("1");
+    viewer.send_json(&retry);
+    let (_, connection, _) = harness.next_set_up();
+    server.send(connection, &session_update(tag(2), "link_use", 0.25));
+    server.send(connection, &accepted(tag(2), "x"));
     observed.until("note 1");
-    server.send(conn, &session_update(tag(2), "served", 0.5));
+    server.send(connection, &session_update(tag(2), "served", 0.5));
     observed.until("note 1");
-    server.send(conn, b"TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: 0000000000000002\r\nReason: cause=16\r\nX-State: x0:0.5;later:3\r\nContent-Length: 0\r\n\r\n");
+    server.send(connection, b"TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: 0000000000000002\r\nReason: cause=16\r\nX-State: x0:0.5;later:3\r\nContent-Length: 0\r\n\r\n");
     observed.until("ended 1");
     // Paid, and rejected for lack of capacity with a load report.
     viewer.start(tag(3), PAID, 15_000);
-    let (_, conn, _) = harness.next_set_up();
-    server.send(conn, &response(453, 1, tag(3), "X-State: x0:0.75\r\n", ""));
+    let (_, connection, _) = harness.next_set_up();
+    server.send(
+        connection,
+        &response(453, 1, tag(3), "X-State: x0:0.75\r\n", ""),
+    );
     observed.until("ended 2");
     // Cancelled by its viewer.
     viewer.start(tag(4), PAID, 15_000);
@@ -344,8 +347,8 @@
     let mut viewer = harness.viewer();
     // Noise: who sends it is alive.
     viewer.start(tag(1), FREE, 15_000);
-    let (server, conn, _) = harness.next_set_up();
-    server.send(conn, b"\x00\x01");
+    let (server, connection, _) = harness.next_set_up();
+    server.send(connection, b"\x00\x01");
     observed.until("ended 0 0 ServerId(1) ServerError closed false");
     // Cut off, while another connection stands.
     let (harness, mut observed) = ObservedNode::start(1);
--- a/crates/node/tests/faulty_clients.rs
+++ b/crates/node/tests/faulty_clients.rs
@@ -9,7 +9,7 @@
     let harness = Harness::start(1);
     let (mut honest, mut bad) = (harness.viewer(), harness.viewer());
     honest.start(tag(1), PAID, 15_000);
-    let (server, conn, _) = harness.next_set_up();
+    let (server, connection, _) = harness.next_set_up();
     let mut other = set_up(tag(1), FREE, "15000", "");
     other["blob"] = json!("another description");
     bad.send_json(&other);
@@ -21,7 +21,7 @@
     let mut stranger = harness.viewer();
     stranger.finish(tag(1), 16);
     assert_eq!(stranger.next_message()["verb"], "FINISHED");
-    server.send(conn, &accepted(tag(1), "mine"));
+    server.send(connection, &accepted(tag(1), "mine"));
     assert_eq!(honest.next_message()["blob"], "mine");
     assert!(
         server
@@ -71,7 +71,7 @@
 #[test]
 fn set_ups_that_cannot_be_read_are_rejected_and_reach_no_server() {
     let harness = Harness::start(1);
-    for (what, asked) in [
+    for (what, request) in [
         ("no such class", set_up(tag(2), "gold", "900", "")),
         ("a negative time", set_up(tag(2), FREE, "-900", "")),
         ("an endless time", set_up(tag(2), FREE, "99999999", "")),
@@ -95,7 +95,7 @@
         ),
     ] {
         let mut client = harness.viewer();
-        client.send_json(&asked);
+        client.send_json(&request);
         let end = client.next_message();
         assert_eq!(
             (&end["verb"], &end["rc"]),
--- a/crates/node/tests/faulty_directory.rs
+++ b/crates/node/tests/faulty_directory.rs
@@ -23,14 +23,14 @@
 #[test]
 fn unusable_directory_responses_change_nothing() {
     let harness = Harness::start(2);
-    for spoilt in [
+    for fault in [
         DirectoryFault::Failure,
         DirectoryFault::Truncated,
         DirectoryFault::OtherId,
         DirectoryFault::Silence,
     ] {
         harness.directory.update(|t| {
-            (t.serial, t.fault) = (9, Some(spoilt));
+            (t.serial, t.fault) = (9, Some(fault));
             t.servers.truncate(1);
         });
         harness.directory.wait_for_queries(3);
@@ -40,12 +40,12 @@
         .update(|t| (t.serial, t.fault) = (0, None));
     harness.directory.wait_for_queries(3);
     let mut viewer = harness.viewer();
-    let mut asked = std::collections::BTreeSet::new();
+    let mut used_servers = std::collections::BTreeSet::new();
     for n in 0..40 {
-        asked.insert(harness.establish(&mut viewer, tag(n), FREE).0.name.clone());
+        used_servers.insert(harness.establish(&mut viewer, tag(n), FREE).0.name.clone());
     }
     assert_eq!(
-        asked.len(),
+        used_servers.len(),
         2,
         "an older list and spoilt ones are not followed"
     );
@@ -70,12 +70,12 @@
     harness
         .directory
         .update(|t| t.fault = Some(DirectoryFault::Silence));
-    let told = DirectoryState {
+    let state = DirectoryState {
         serial: 2,
         servers: listed_servers(&harness.servers[..1]),
         fault: None,
     };
-    let other = Directory::start(told);
+    let other = Directory::start(state);
     let mut config = harness.config.clone();
     config["nameserver"] = json!(other.address.to_string());
     harness
@@ -95,7 +95,7 @@
 fn a_new_server_at_a_removed_ones_address_is_not_blamed_for_it() {
     let harness = Harness::start(1);
     let mut viewer = harness.viewer();
-    let (old, conn) = harness.establish(&mut viewer, tag(1), FREE);
+    let (old, connection) = harness.establish(&mut viewer, tag(1), FREE);
     old.kill();
     let end = viewer.next_message();
     assert_eq!(
@@ -123,5 +123,5 @@
     );
     new.send(fresh, &accepted(tag(2), "x"));
     assert_eq!(viewer.next_message()["verb"], "STARTED");
-    let _ = conn;
+    let _ = connection;
 }
--- a/crates/node/tests/faulty_servers.rs
+++ b/crates/node/tests/faulty_servers.rs
@@ -19,20 +19,20 @@
         let harness = Harness::start(2);
         let (mut free, mut paid) = (harness.viewer(), harness.viewer());
         free.start(tag(1), FREE, 15_000);
-        let (first, conn, _) = harness.next_set_up();
-        first.try_send(conn, &bytes);
-        let (second, conn, message) = harness.next_set_up();
+        let (first, connection, _) = harness.next_set_up();
+        first.try_send(connection, &bytes);
+        let (second, connection, message) = harness.next_set_up();
         assert_ne!(first.name, second.name, "{what}");
         assert_eq!(message.session, Some(tag(1)));
-        second.send(conn, &accepted(tag(1), "good"));
+        second.send(connection, &accepted(tag(1), "good"));
         assert_eq!(free.next_message()["blob"], "good", "{what}");
         paid.start(tag(2), PAID, 15_000);
-        let (server, conn, _) = harness.next_set_up();
+        let (server, connection, _) = harness.next_set_up();
         let one = tag(1).as_str().as_bytes().to_vec();
         let at = bytes.windows(16).position(|w| w == one.as_slice());
         let mut bytes = bytes;
         at.into_iter().for_each(|at| bytes[at + 15] = b'2');
-        server.try_send(conn, &bytes);
+        server.try_send(connection, &bytes);
         assert_eq!(paid.next_message()["rc"], 41, "{what}: it may have run");
     }
 }
@@ -63,23 +63,23 @@
     let harness = Harness::start(1);
     let mut viewer = harness.viewer();
     viewer.start(tag(1), PAID, 15_000);
-    let (server, conn, _) = harness.next_set_up();
-    server.send(conn, &accepted(tag(77), "not asked for"));
+    let (server, connection, _) = harness.next_set_up();
+    server.send(connection, &accepted(tag(77), "not asked for"));
     let noise =
         b"RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 00000000000000aa\r\nContent-Length: 3\r\n\r\n\xff\x00\xfe";
-    server.send(conn, noise); // Nor does it matter what such an answer says.
-    server.send(conn, &response(200, 9, tag(1), "", "another number"));
-    server.send(conn, &accepted(tag(1), "mine"));
-    server.send(conn, &accepted(tag(1), "a copy"));
+    server.send(connection, noise); // Nor does it matter what such an answer says.
+    server.send(connection, &response(200, 9, tag(1), "", "another number"));
+    server.send(connection, &accepted(tag(1), "mine"));
+    server.send(connection, &accepted(tag(1), "a copy"));
     assert_eq!(viewer.next_message()["blob"], "mine");
     assert_eq!(viewer.echo()["verb"], "ECHOED", "one answer");
-    let (again, conn_again) = harness.establish(&mut viewer, tag(2), FREE);
+    let (later, later_connection) = harness.establish(&mut viewer, tag(2), FREE);
     assert_eq!(
-        (again.name.as_str(), conn_again),
-        (server.name.as_str(), conn),
+        (later.name.as_str(), later_connection),
+        (server.name.as_str(), connection),
         "the connection is still good"
     );
-    server.send(conn, &response(500, 1, tag(1), "", ""));
+    server.send(connection, &response(500, 1, tag(1), "", ""));
     assert_eq!(
         viewer.echo()["verb"],
         "ECHOED",
@@ -92,15 +92,18 @@
 fn an_idle_connection_that_was_reset_is_not_written_to() {
     let harness = Harness::start(1);
     let mut viewer = harness.viewer();
-    let (server, conn) = harness.establish(&mut viewer, tag(1), FREE);
-    server.send(conn, &crankpaddle_node_protocol::rtsp::release(tag(1), 16));
+    let (server, connection) = harness.establish(&mut viewer, tag(1), FREE);
+    server.send(
+        connection,
+        &crankpaddle_node_protocol::rtsp::release(tag(1), 16),
+    );
     assert_eq!(viewer.next_message()["rc"], 16);
     harness.wait_until_idle();
-    server.close(conn);
+    server.close(connection);
     wait("its reader notices", || harness.node.counts().links == 0);
     viewer.start(tag(2), PAID, 15_000);
     let (_, fresh, _) = harness.next_set_up();
-    assert_ne!(fresh, conn);
+    assert_ne!(fresh, connection);
     server.send(fresh, &accepted(tag(2), "x"));
     assert_eq!(viewer.next_message()["verb"], "STARTED");
 }
@@ -114,21 +117,21 @@
     assert_eq!(viewer.next_message()["rc"], 41, "it may have run");
     // The policy ejects the server for a second; until then set-ups are rejected at once.
     let mut n = 10;
-    let again = loop {
+    let later = loop {
         n += 1;
         viewer.start(tag(n), FREE, 15_000);
         // A test that is asked when the one before was answered is answered behind a refusal, if there is one.
-        let said = [viewer.echo(), viewer.echo()];
-        if said.iter().all(|line| line["verb"] == "ECHOED") {
+        let answers = [viewer.echo(), viewer.echo()];
+        if answers.iter().all(|line| line["verb"] == "ECHOED") {
             break server.wait_for_request("SETUP").0;
         }
         assert_eq!(viewer.next_message()["verb"], "ECHOED");
     };
     assert_ne!(
-        again, silent,
+        later, silent,
         "for all one knows the machine behind it is gone"
     );
-    server.send(again, &accepted(tag(n), "x"));
+    server.send(later, &accepted(tag(n), "x"));
     assert_eq!(viewer.next_message()["verb"], "STARTED");
 }
 
@@ -139,7 +142,7 @@
     let mut viewer = harness.viewer();
     let (server, _) = harness.establish(&mut viewer, tag(1), FREE);
     let before = Instant::now();
-    let full = server.vanish();
+    let backlog = server.vanish();
     let end = viewer.next_message();
     assert_eq!(
         (&end["verb"], &end["tag"], &end["rc"]),
@@ -150,7 +153,7 @@
         "released in time: {:?}",
         before.elapsed()
     );
-    assert!(!full.is_empty());
+    assert!(!backlog.is_empty());
     viewer.start(tag(2), PAID, 15_000);
     assert_eq!(
         viewer.next_message()["rc"],
--- a/crates/node/tests/other_deployments.rs
+++ b/crates/node/tests/other_deployments.rs
@@ -93,8 +93,11 @@
             let mut viewer = here.viewer();
             for _ in 0..10 {
                 n += 1;
-                let (server, conn) = here.establish(&mut viewer, tag(n), FREE);
-                server.send(conn, &crankpaddle_node_protocol::rtsp::release(tag(n), 16));
+                let (server, connection) = here.establish(&mut viewer, tag(n), FREE);
+                server.send(
+                    connection,
+                    &crankpaddle_node_protocol::rtsp::release(tag(n), 16),
+                );
                 assert_eq!(viewer.next_message()["rc"], 16);
             }
         }
@@ -111,11 +114,11 @@
     let (here, there) = (Harness::start(1), other_deployment());
     let assert_rejected = |harness: &Harness, class: &str, tenant: Option<&str>| {
         let mut viewer = harness.viewer();
-        let mut asked = set_up(tag(1), class, "900", "");
+        let mut request = set_up(tag(1), class, "900", "");
         tenant
             .into_iter()
-            .for_each(|tenant| asked["opts"]["tenant"] = json!(tenant));
-        viewer.send_json(&asked);
+            .for_each(|tenant| request["opts"]["tenant"] = json!(tenant));
+        viewer.send_json(&request);
         assert_eq!(viewer.next_message()["rc"], 100, "{class} {tenant:?}");
     };
     assert_rejected(&here, "rehearsal", None);
@@ -132,7 +135,7 @@
     let mut own = set_up(tag(2), "rehearsal", "15000", "");
     own["opts"]["tenant"] = json!("weir-house");
     viewer.send_json(&own);
-    let (server, conn, _) = there.next_set_up();
-    server.send(conn, &accepted(tag(2), "described"));
+    let (server, connection, _) = there.next_set_up();
+    server.send(connection, &accepted(tag(2), "described"));
     assert_eq!(viewer.next_message()["verb"], "STARTED");
 }
--- a/crates/node/tests/races_endpoint_list.rs
+++ b/crates/node/tests/races_endpoint_list.rs
@@ -19,12 +19,12 @@
     });
     harness.directory.wait_for_queries(3);
     harness.servers[0].resume_accepting(); // The connect comes about when the kernel tries it again.
-    let (server, conn, _) = harness.next_set_up();
+    let (server, connection, _) = harness.next_set_up();
     assert_eq!(
         server.name, harness.servers[1].name,
         "it had left for neither"
     );
-    server.send(conn, &accepted(tag(1), "described"));
+    server.send(connection, &accepted(tag(1), "described"));
     assert_eq!(viewer.next_message()["verb"], "STARTED");
     assert!(!harness.servers[0].has_received_set_up());
     drop(backlog);
@@ -72,8 +72,11 @@
     let _alone = alone();
     let harness = Harness::start(1);
     let mut viewer = harness.viewer();
-    let (former, conn) = harness.establish(&mut viewer, tag(1), FREE);
-    former.send(conn, &crankpaddle_node_protocol::rtsp::release(tag(1), 16));
+    let (former, connection) = harness.establish(&mut viewer, tag(1), FREE);
+    former.send(
+        connection,
+        &crankpaddle_node_protocol::rtsp::release(tag(1), 16),
+    );
     assert_eq!(viewer.next_message()["rc"], 16);
     let moved = Server::start(1);
     harness
@@ -81,9 +84,9 @@
         .update(|t| (t.serial, t.servers[0].address) = (2, moved.address));
     harness.directory.wait_for_queries(3);
     viewer.start(tag(2), PAID, 15_000);
-    let (conn, message) = moved.wait_for_request("SETUP");
+    let (connection, message) = moved.wait_for_request("SETUP");
     assert_eq!(message.session, Some(tag(2)));
-    moved.send(conn, &accepted(tag(2), "described"));
+    moved.send(connection, &accepted(tag(2), "described"));
     assert_eq!(viewer.next_message()["verb"], "STARTED");
     assert!(!former.has_received_set_up());
 }
@@ -149,16 +152,16 @@
         .directory
         .update(|t| t.fault = Some(DirectoryFault::Silence));
     harness.directory.wait_for_queries(2);
-    let mut crowd: Vec<TcpStream> = Vec::new();
-    let more = |crowd: &mut Vec<TcpStream>, n| {
-        crowd.extend((0..n).filter_map(|_| TcpStream::connect(harness.node.address()).ok()));
+    let mut clients: Vec<TcpStream> = Vec::new();
+    let connect_clients = |clients: &mut Vec<TcpStream>, n| {
+        clients.extend((0..n).filter_map(|_| TcpStream::connect(harness.node.address()).ok()));
     };
-    more(&mut crowd, 300);
+    connect_clients(&mut clients, 300);
     harness
         .directory
         .update(|t| (t.serial, t.fault, t.servers[0].priority) = (2, None, 1));
     harness.directory.wait_for_queries(3);
-    more(&mut crowd, 100);
+    connect_clients(&mut clients, 100);
     let mut viewer = harness.viewer();
     for n in 0..5 {
         assert_eq!(
@@ -166,15 +169,15 @@
             harness.servers[1].name
         );
     }
-    let lines = listed_servers(&harness.servers);
+    let listed = listed_servers(&harness.servers);
     let other = Directory::start(DirectoryState {
         serial: 3,
-        servers: lines[..1].to_vec(),
+        servers: listed[..1].to_vec(),
         fault: None,
     });
     let mut config = harness.config.clone();
     config["nameserver"] = json!(other.address.to_string());
-    more(&mut crowd, 100);
+    connect_clients(&mut clients, 100);
     harness
         .node
         .reload(&parsed(&config))
--- a/crates/node/tests/races_shutdown.rs
+++ b/crates/node/tests/races_shutdown.rs
@@ -63,7 +63,7 @@
     let harness = Harness::start(1);
     let (mut waits, mut late, mut other) = (harness.viewer(), harness.viewer(), harness.viewer());
     waits.start(tag(1), PAID, 15_000);
-    let (server, conn, _) = harness.next_set_up();
+    let (server, connection, _) = harness.next_set_up();
     let since = start_drain(&harness, &mut other);
     let ended = wait_for_end(&harness);
     until(since, Duration::from_millis(600));
@@ -76,9 +76,12 @@
     harness.node.drain();
     until(since, Duration::from_millis(1500));
     assert!(ended.try_recv().is_err(), "a set-up is unanswered");
-    server.send(conn, &accepted(tag(1), "described"));
+    server.send(connection, &accepted(tag(1), "described"));
     assert_eq!(waits.next_message()["verb"], "STARTED");
-    server.send(conn, &crankpaddle_node_protocol::rtsp::release(tag(1), 16));
+    server.send(
+        connection,
+        &crankpaddle_node_protocol::rtsp::release(tag(1), 16),
+    );
     assert_eq!(waits.next_message()["rc"], 16);
     let done = Instant::now();
     ended.recv_timeout(LONG).expect("it ends");
@@ -102,12 +105,12 @@
     harness.directory.update(|t| {
         (t.serial, t.servers[0].priority, t.servers[1].priority) = (3, 1, 0);
     });
-    let (server, conn, _) = harness.next_set_up();
+    let (server, connection, _) = harness.next_set_up();
     assert_eq!(
         server.name, harness.servers[1].name,
         "the other one drains now"
     );
-    server.send(conn, &accepted(tag(1), "described"));
+    server.send(connection, &accepted(tag(1), "described"));
     assert_eq!(viewer.next_message()["verb"], "STARTED");
     drop(backlog);
 }
--- a/crates/node/tests/races_viewers.rs
+++ b/crates/node/tests/races_viewers.rs
@@ -13,7 +13,7 @@
 }
 
 /// A viewer goes while the policy decides on its set-up: nothing may be sent for it.
-fn leave_before_the_first_attempt(goes: impl FnOnce(Viewer) -> Option<Viewer>) {
+fn leave_before_the_first_attempt(leave: impl FnOnce(Viewer) -> Option<Viewer>) {
     let _alone = alone();
     let (gate, observer) = Gate::at(is_session_request);
     let harness = Harness::start_observed(1, |_| {}, Some(observer));
@@ -21,10 +21,10 @@
     gate.arm();
     viewer.start(tag(1), PAID, 15_000);
     gate.wait_until_reached();
-    let stays = goes(viewer);
+    let remaining = leave(viewer);
     gate.open();
     harness.wait_until_idle();
-    drop(stays);
+    drop(remaining);
     wait("its connection is gone", || {
         harness.node.counts().viewers == 0
     });
@@ -65,9 +65,9 @@
     let harness = Harness::start_observed(2, |_| {}, Some(observer));
     let mut viewer = harness.viewer();
     viewer.start(tag(1), FREE, 15_000);
-    let (server, conn, _) = harness.next_set_up();
+    let (server, connection, _) = harness.next_set_up();
     gate.arm();
-    server.send(conn, &response(500, 1, tag(1), "", ""));
+    server.send(connection, &response(500, 1, tag(1), "", ""));
     gate.wait_until_reached();
     drop(viewer);
     gate.open();
@@ -102,9 +102,9 @@
 #[test]
 fn a_set_up_to_a_server_that_does_not_read_never_arrives_when_its_viewer_has_gone() {
     let _alone = alone();
-    let deaf = non_reading_server();
+    let server = non_reading_server();
     let harness = Harness::start(1);
-    let address = deaf.local_addr().unwrap();
+    let address = server.local_addr().unwrap();
     harness
         .directory
         .update(|t| (t.serial, t.servers[0].address) = (2, address));
@@ -113,10 +113,10 @@
     let mut long = set_up(tag(1), FREE, "15000", "");
     long["blob"] = json!("y".repeat(14_000));
     viewer.send_json(&long);
-    deaf.set_nonblocking(true).unwrap();
+    server.set_nonblocking(true).unwrap();
     let mut accepted = None;
     wait("the node connects", || {
-        accepted = deaf.accept().ok();
+        accepted = server.accept().ok();
         accepted.is_some()
     });
     let (mut stream, _) = accepted.expect("just accepted");
--- a/crates/node/tests/sessions.rs
+++ b/crates/node/tests/sessions.rs
@@ -9,10 +9,10 @@
     let mut viewer = harness.viewer();
     assert_eq!(viewer.echo()["rc"], 1);
     let blob = "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\nm=audio \u{e9}\r\n";
-    let mut asked = set_up(tag(1), FREE, "1500", "");
-    asked["blob"] = json!(blob);
-    viewer.send_json(&asked);
-    let (server, conn, message) = harness.next_set_up();
+    let mut request = set_up(tag(1), FREE, "1500", "");
+    request["blob"] = json!(blob);
+    viewer.send_json(&request);
+    let (server, connection, message) = harness.next_set_up();
     assert_eq!(
         (message.cseq, message.session, message.text()),
         (Some(1), Some(tag(1)), Some(blob))
@@ -29,17 +29,17 @@
         .expect("a number");
     assert!((1..=1500).contains(&patience), "{patience}");
     server.send(
-        conn,
+        connection,
         b"RTSP/1.0 100 Trying\r\nCSeq: 1\r\nSession: 0000000000000001\r\nContent-Length: 0\r\n\r\n",
     );
-    server.send(conn, &accepted(tag(1), "made\r\nhere\r\n"));
+    server.send(connection, &accepted(tag(1), "made\r\nhere\r\n"));
     let answer = viewer.next_message();
     assert_eq!(
         (&answer["verb"], &answer["blob"]),
         (&json!("STARTED"), &json!("made\r\nhere\r\n"))
     );
-    server.send(conn, &session_update(tag(1), "link_use", 0.5));
-    server.send(conn, b"TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: 0000000000000001\r\nReason: cause=16\r\nX-State: x0:0.4\r\nContent-Length: 0\r\n\r\n");
+    server.send(connection, &session_update(tag(1), "link_use", 0.5));
+    server.send(connection, b"TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: 0000000000000001\r\nReason: cause=16\r\nX-State: x0:0.4\r\nContent-Length: 0\r\n\r\n");
     let end = viewer.next_message();
     assert_eq!(
         (&end["verb"], &end["tag"], &end["rc"]),
@@ -53,12 +53,12 @@
     let harness = Harness::start(1);
     let mut viewer = harness.viewer();
     viewer.start(tag(1), PAID, 15_000);
-    let (server, conn, _) = harness.next_set_up();
+    let (server, connection, _) = harness.next_set_up();
     viewer.finish(tag(1), 16);
     assert_eq!(viewer.next_message()["verb"], "FINISHED");
-    let (_, given_up) = server.wait_for_request("TEARDOWN");
-    assert_eq!((given_up.session, given_up.cause()), (Some(tag(1)), None));
-    server.send(conn, &accepted(tag(1), "too late"));
+    let (_, cancel) = server.wait_for_request("TEARDOWN");
+    assert_eq!((cancel.session, cancel.cause()), (Some(tag(1)), None));
+    server.send(connection, &accepted(tag(1), "too late"));
     let (_, release) = server.wait_for_request("TEARDOWN");
     assert_eq!((release.session, release.cause()), (Some(tag(1)), Some(31)));
     assert_eq!(
@@ -78,8 +78,8 @@
     let (_, message) = server.wait_for_request("SETUP");
     assert_eq!(message.session, Some(tag(1)));
     drop(first);
-    let (_, given_up) = server.wait_for_request("TEARDOWN");
-    assert_eq!((given_up.session, given_up.cause()), (Some(tag(1)), None));
+    let (_, cancel) = server.wait_for_request("TEARDOWN");
+    assert_eq!((cancel.session, cancel.cause()), (Some(tag(1)), None));
     assert_eq!(second.echo()["verb"], "ECHOED");
     wait("the other session stands", || {
         harness.node.counts().playing == 1 && harness.node.counts().waiting == 0
@@ -90,13 +90,16 @@
 fn a_session_outlives_its_connection_and_its_release_is_sent_on_another() {
     let harness = Harness::start(1);
     let (mut first, mut second) = (harness.viewer(), harness.viewer());
-    let (server, conn) = harness.establish(&mut first, tag(1), FREE);
+    let (server, connection) = harness.establish(&mut first, tag(1), FREE);
     harness.establish(&mut second, tag(2), FREE);
     drop(first);
     wait("it is seen to be gone", || {
         harness.node.counts().viewers == 1
     });
-    server.send(conn, &crankpaddle_node_protocol::rtsp::release(tag(1), 16));
+    server.send(
+        connection,
+        &crankpaddle_node_protocol::rtsp::release(tag(1), 16),
+    );
     let end = second.next_message();
     assert_eq!(
         (&end["verb"], &end["tag"], &end["rc"]),
@@ -119,14 +122,14 @@
     let mut viewer = harness.viewer();
     for (n, cause) in [(1, 31), (2, 16), (3, 41)] {
         viewer.start(tag(n), PAID, 15_000);
-        let (server, conn, _) = harness.next_set_up();
+        let (server, connection, _) = harness.next_set_up();
         let mut both = accepted(tag(n), "x").to_vec();
         both.extend(crankpaddle_node_protocol::rtsp::release(tag(n), cause));
-        server.send(conn, &both);
+        server.send(connection, &both);
         if cause == 16 {
-            let stood = viewer.next_message();
+            let established = viewer.next_message();
             assert_eq!(
-                (&stood["verb"], &stood["blob"]),
+                (&established["verb"], &established["blob"]),
                 (&json!("STARTED"), &json!("x")),
                 "it has come to its end"
             );
@@ -146,12 +149,15 @@
 fn a_release_waits_for_a_connection_where_there_is_none() {
     let harness = Harness::start(1);
     let mut first = harness.viewer();
-    let (server, conn) = harness.establish(&mut first, tag(1), FREE);
+    let (server, connection) = harness.establish(&mut first, tag(1), FREE);
     drop(first);
     wait("no viewer is connected", || {
         harness.node.counts().viewers == 0
     });
-    server.send(conn, &crankpaddle_node_protocol::rtsp::release(tag(1), 41));
+    server.send(
+        connection,
+        &crankpaddle_node_protocol::rtsp::release(tag(1), 41),
+    );
     wait("the session is over", || harness.node.counts().playing == 0);
     let mut next = harness.viewer();
     let first = next.echo();
@@ -171,8 +177,11 @@
     let harness = Harness::start(1);
     let mut viewer = harness.viewer();
     viewer.start(tag(1), PAID, 15_000);
-    let (server, conn, _) = harness.next_set_up();
-    server.send(conn, &response(453, 1, tag(1), "X-State: x0:1.4\r\n", ""));
+    let (server, connection, _) = harness.next_set_up();
+    server.send(
+        connection,
+        &response(453, 1, tag(1), "X-State: x0:1.4\r\n", ""),
+    );
     let end = viewer.next_message();
     assert_eq!(
         (&end["verb"], &end["rc"]),
@@ -200,13 +209,13 @@
         let harness = Harness::start(2);
         let mut viewer = harness.viewer();
         viewer.start(tag(1), PAID, 15_000);
-        let (server, conn, _) = harness.next_set_up();
-        server.send(conn, &response(status, 1, tag(1), "", ""));
+        let (server, connection, _) = harness.next_set_up();
+        server.send(connection, &response(status, 1, tag(1), "", ""));
         if again {
-            let (other, conn, message) = harness.next_set_up();
+            let (other, connection, message) = harness.next_set_up();
             assert_ne!(other.name, server.name);
             assert_eq!(message.session, Some(tag(1)), "the id stays");
-            other.send(conn, &accepted(tag(1), "x"));
+            other.send(connection, &accepted(tag(1), "x"));
             assert_eq!(viewer.next_message()["verb"], "STARTED", "{status}");
         } else {
             let end = viewer.next_message();
@@ -226,12 +235,12 @@
         let harness = Harness::start(2);
         let mut viewer = harness.viewer();
         viewer.start(tag(1), class, 15_000);
-        let (server, conn, _) = harness.next_set_up();
-        server.close(conn);
+        let (server, connection, _) = harness.next_set_up();
+        server.close(connection);
         if class == FREE {
-            let (other, conn, _) = harness.next_set_up();
+            let (other, connection, _) = harness.next_set_up();
             assert_ne!(other.name, server.name);
-            other.send(conn, &accepted(tag(1), "x"));
+            other.send(connection, &accepted(tag(1), "x"));
             assert_eq!(viewer.next_message()["verb"], "STARTED");
             // What may be established at the first is released there.
             let (_, release) = server.wait_for_request("TEARDOWN");
@@ -244,9 +253,9 @@
         let mut viewer = harness.viewer();
         for n in 0..4 {
             viewer.start(tag(n), class, 15_000);
-            let (server, conn, message) = harness.next_set_up();
+            let (server, connection, message) = harness.next_set_up();
             assert_eq!(server.name, harness.servers[1].name);
-            server.send(conn, &accepted(session_of(&message), "x"));
+            server.send(connection, &accepted(session_of(&message), "x"));
             assert_eq!(viewer.next_message()["verb"], "STARTED");
         }
     }
@@ -265,15 +274,15 @@
         before.elapsed().as_millis() >= 350,
         "no earlier than its time"
     );
-    let (_, given_up) = server.wait_for_request("TEARDOWN");
-    assert_eq!((given_up.session, given_up.cause()), (Some(tag(1)), None));
+    let (_, cancel) = server.wait_for_request("TEARDOWN");
+    assert_eq!((cancel.session, cancel.cause()), (Some(tag(1)), None));
 }
 
 #[test]
 fn a_draining_node_rejects_new_set_ups_and_ends_with_the_last_session() {
     let harness = Harness::start(1);
     let mut viewer = harness.viewer();
-    let (server, conn) = harness.establish(&mut viewer, tag(1), FREE);
+    let (server, connection) = harness.establish(&mut viewer, tag(1), FREE);
     viewer.start(tag(2), PAID, 15_000);
     let (_, waiting, _) = harness.next_set_up();
     harness.node.drain();
@@ -289,7 +298,10 @@
         "what was taken is answered"
     );
     for n in [1, 2] {
-        server.send(conn, &crankpaddle_node_protocol::rtsp::release(tag(n), 16));
+        server.send(
+            connection,
+            &crankpaddle_node_protocol::rtsp::release(tag(n), 16),
+        );
         assert_eq!(viewer.next_message()["verb"], "FINISH");
     }
     harness.node.wait();
--- a/crates/node/tests/support/harness.rs
+++ b/crates/node/tests/support/harness.rs
@@ -104,18 +104,18 @@
                 found.is_some()
             },
         );
-        let (at, (conn, message)) = found.expect("just found");
-        (&self.servers[at], conn, message)
+        let (at, (connection, message)) = found.expect("just found");
+        (&self.servers[at], connection, message)
     }
 
     /// Establishes a session: its viewer's set-up, accepted by the server that receives it.
     pub(crate) fn establish(&self, viewer: &mut Viewer, tag: Tag, class: &str) -> (&Server, usize) {
         viewer.start(tag, class, 15_000);
-        let (server, conn, message) = self.next_set_up();
+        let (server, connection, message) = self.next_set_up();
         assert_eq!(message.session, Some(tag));
-        server.send(conn, &accepted(tag, "described"));
+        server.send(connection, &accepted(tag, "described"));
         assert_eq!(viewer.next_message()["verb"], "STARTED");
-        (server, conn)
+        (server, connection)
     }
 
     pub(crate) fn wait_until_idle(&self) {
