CLI: the node's configuration errors keep their typed causes

`ConfigError` of `crankpaddle node` had the name of the protocol's error and held that and the mismatch as text. It is `ConfigFileError` and holds both as sources. The lines printed and logged are the same.

The package's other tests were not run.

--- a/crates/cli/src/node.rs
+++ b/crates/cli/src/node.rs
@@ -2,10 +2,9 @@
 use crate::failure::CommandFailure;
 use crate::{lifecycle, logging};
 use crankpaddle_node::Node;
-use crankpaddle_node_protocol::config::Config;
+use crankpaddle_node_protocol::config::{Config, ConfigError, Mismatch};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use std::fmt::Display;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -34,9 +33,9 @@
     }
 }
 
-/// Why a configuration could not be used.
+/// Why a configuration file could not be used.
 #[derive(Debug, thiserror::Error)]
-enum ConfigError {
+enum ConfigFileError {
     /// Neither the flag nor the environment names a file.
     #[error("no configuration: set NODE_CONFIG or give --config FILE")]
     NotNamed,
@@ -47,40 +46,33 @@
         source: std::io::Error,
     },
     /// The file is no valid configuration.
-    #[error("{}: {reason}", path.display())]
-    Parse { path: PathBuf, reason: String },
+    #[error("{}: {source}", path.display())]
+    Parse { path: PathBuf, source: ConfigError },
     /// The file changes a setting that needs a restart.
-    #[error("{}: {reason}", path.display())]
-    Mismatch { path: PathBuf, reason: String },
-}
-
-impl ConfigError {
-    fn parse(path: &Path, reason: impl Display) -> ConfigError {
-        ConfigError::Parse {
-            path: path.to_owned(),
-            reason: reason.to_string(),
-        }
-    }
+    #[error("{}: {source}", path.display())]
+    Mismatch { path: PathBuf, source: Mismatch },
 }
 
-fn load(path: &Path) -> Result<Config, ConfigError> {
-    let text = std::fs::read(path).map_err(|source| ConfigError::Read {
+fn load(path: &Path) -> Result<Config, ConfigFileError> {
+    let text = std::fs::read(path).map_err(|source| ConfigFileError::Read {
         path: path.to_owned(),
         source,
     })?;
-    Config::parse(&text).map_err(|error| ConfigError::parse(path, error))
+    Config::parse(&text).map_err(|source| ConfigFileError::Parse {
+        path: path.to_owned(),
+        source,
+    })
 }
 
 /// Applies the file's directory address, the one setting that may change; returns it.
-fn apply_config(node: &Node, path: &Path) -> Result<SocketAddr, ConfigError> {
+fn apply_config(node: &Node, path: &Path) -> Result<SocketAddr, ConfigFileError> {
     let config = load(path)?;
-    match node.reload(&config) {
-        Ok(()) => Ok(config.nameserver),
-        Err(mismatch) => Err(ConfigError::Mismatch {
+    node.reload(&config)
+        .map_err(|source| ConfigFileError::Mismatch {
             path: path.to_owned(),
-            reason: mismatch.to_string(),
-        }),
-    }
+            source,
+        })?;
+    Ok(config.nameserver)
 }
 
 /// Applies the file, or logs why the configuration in force stays.
@@ -93,12 +85,12 @@
     }
 }
 
-fn config_path(flag: Option<PathBuf>) -> Result<PathBuf, ConfigError> {
+fn config_path(flag: Option<PathBuf>) -> Result<PathBuf, ConfigFileError> {
     flag.or_else(|| std::env::var_os("NODE_CONFIG").map(PathBuf::from))
-        .ok_or(ConfigError::NotNamed)
+        .ok_or(ConfigFileError::NotNamed)
 }
 
-fn invalid_config(error: ConfigError) -> CommandFailure {
+fn invalid_config(error: ConfigFileError) -> CommandFailure {
     CommandFailure::invalid_input(format_args!("crankpaddle node: {error}"))
 }
 
