Node protocol and node tests: named fields, names and comments of the field

The servers that a test's directory lists were tuples of six parts; they are structs with the same values. No assertion, value or message of an assertion changes.

--- a/crates/node-protocol/tests/codecs.rs
+++ b/crates/node-protocol/tests/codecs.rs
@@ -8,8 +8,8 @@
     Tag::parse(&format!("{n:016x}")).expect("16 hex digits")
 }
 
-/// Feeds bytes in pieces of these sizes, over and over, until one is refused; how it was.
-fn cut<E>(
+/// Feeds bytes in pieces of these sizes, again and again, up to the first error, which it returns.
+fn feed_in_pieces<E>(
     bytes: &[u8],
     pieces: &[usize],
     mut feed: impl FnMut(&[u8]) -> Result<(), E>,
@@ -17,8 +17,8 @@
     let mut at = 0;
     for size in pieces.iter().copied().cycle() {
         let end = (at + size.max(1)).min(bytes.len());
-        if let Err(fault) = feed(&bytes[at..end]) {
-            return Some(fault);
+        if let Err(error) = feed(&bytes[at..end]) {
+            return Some(error);
         }
         at = end;
         if at == bytes.len() {
@@ -28,10 +28,10 @@
     None
 }
 
-/// The messages, and whether the stream broke.
+/// The messages up to the first error, and that error.
 fn decode_viewers(bytes: &[u8], pieces: &[usize]) -> (Vec<Message>, Option<viewers::DecodeError>) {
     let (mut decoder, mut out) = (viewers::Decoder::default(), Vec::new());
-    let error = cut(bytes, pieces, |piece| decoder.feed(piece, &mut out));
+    let error = feed_in_pieces(bytes, pieces, |piece| decoder.feed(piece, &mut out));
     (out, error)
 }
 
@@ -40,7 +40,7 @@
     pieces: &[usize],
 ) -> (Vec<rtsp::Message>, Option<rtsp::DecodeError>) {
     let (mut decoder, mut out) = (rtsp::Decoder::default(), Vec::new());
-    let error = cut(bytes, pieces, |piece| decoder.feed(piece, &mut out));
+    let error = feed_in_pieces(bytes, pieces, |piece| decoder.feed(piece, &mut out));
     (out, error)
 }
 
@@ -52,9 +52,9 @@
 
 const EXTRAS: &str = "home:4;copies:3;top:4;viewer:00000000b4d65521";
 
-fn ask(extras: &str, left: &str) -> Result<viewers::SetUpParams, InvalidField> {
-    let (messages, fault) = decode_viewers(&start(1, extras, left, "x"), &[MAX_MESSAGE_BYTES]);
-    assert_eq!(fault, None);
+fn set_up_params_of(extras: &str, left: &str) -> Result<viewers::SetUpParams, InvalidField> {
+    let (messages, error) = decode_viewers(&start(1, extras, left, "x"), &[MAX_MESSAGE_BYTES]);
+    assert_eq!(error, None);
     match messages.as_slice() {
         [Message::Start(start)] => start.set_up_params(),
         other => panic!("{other:?}"),
@@ -63,35 +63,36 @@
 
 #[test]
 fn a_set_up_is_read_with_its_figures() {
-    let ask = ask(
+    let params = set_up_params_of(
         "home:4;copies:3;top:4;viewer:00000000b4d65521;again:1;later:x",
         "1500",
     )
     .expect("in range");
     assert_eq!(
         (
-            ask.first_cell,
-            ask.cell_count,
-            ask.max_rung,
-            ask.max_wait_ms
+            params.first_cell,
+            params.cell_count,
+            params.max_rung,
+            params.max_wait_ms
         ),
         (4, 3, 4, 1500)
     );
     assert_eq!(
-        (ask.viewer, ask.title),
+        (params.viewer, params.title),
         (0xb4d6_5521, 0x7f3a_9c21_e0b4_d655)
     );
     assert_eq!(
-        (ask.is_retry, ask.is_migration, ask.current_server),
+        (params.is_retry, params.is_migration, params.current_server),
         (true, false, None)
     );
 }
 
 #[test]
 fn a_set_up_of_a_session_that_plays_already_names_its_server_and_no_time() {
-    let ask = ask(&format!("{EXTRAS};at:s-00c41f7a"), "-1").expect("its time means nothing");
+    let params =
+        set_up_params_of(&format!("{EXTRAS};at:s-00c41f7a"), "-1").expect("its time means nothing");
     assert_eq!(
-        (ask.current_server.as_deref(), ask.max_wait_ms),
+        (params.current_server.as_deref(), params.max_wait_ms),
         (Some("s-00c41f7a"), 0)
     );
 }
@@ -128,7 +129,7 @@
         ("nonsense", "9", "extras"),
     ] {
         assert_eq!(
-            ask(extras, left),
+            set_up_params_of(extras, left),
             Err(InvalidField(field)),
             "{extras} {left}"
         );
@@ -154,21 +155,21 @@
     ] {
         let mut bytes = viewers::finish(tag(7), 16, None);
         bytes.extend_from_slice(bad.as_bytes());
-        let (messages, fault) = decode_viewers(&bytes, &[MAX_MESSAGE_BYTES]);
+        let (messages, error) = decode_viewers(&bytes, &[MAX_MESSAGE_BYTES]);
         assert_eq!(messages, [Message::Finish { tag: tag(7), cause: 16 }], "{bad:?}");
-        assert!(matches!(fault, Some(viewers::DecodeError::NoMessage(_))), "{bad:?}: {fault:?}");
+        assert!(matches!(error, Some(viewers::DecodeError::NoMessage(_))), "{bad:?}: {error:?}");
     }
 }
 
 #[test]
 fn an_endless_line_ends_at_the_bound() {
-    let (messages, fault) = decode_viewers(&vec![b'x'; 3 * MAX_MESSAGE_BYTES], &[1000]);
+    let (messages, error) = decode_viewers(&vec![b'x'; 3 * MAX_MESSAGE_BYTES], &[1000]);
     assert_eq!(
-        (messages.len(), fault),
+        (messages.len(), error),
         (0, Some(viewers::DecodeError::TooLong))
     );
-    let (_, fault) = decode_viewers(&vec![b'x'; MAX_MESSAGE_BYTES - 1], &[1000]);
-    assert_eq!(fault, None, "not whole, and it may still become a message");
+    let (_, error) = decode_viewers(&vec![b'x'; MAX_MESSAGE_BYTES - 1], &[1000]);
+    assert_eq!(error, None, "not whole, and it may still become a message");
     let longest = start(1, EXTRAS, "9", &"y".repeat(MAX_MESSAGE_BYTES - 400));
     assert!(longest.len() < MAX_MESSAGE_BYTES);
     assert_eq!(decode_viewers(&longest, &[1000]).0.len(), 1);
@@ -225,7 +226,7 @@
     assert!(text(rtsp::set_rung(tag(1), 2)).contains("\r\nRate-Step: 2\r\n"));
 }
 
-fn answer(n: u64, body: &str) -> Vec<u8> {
+fn response(n: u64, body: &str) -> Vec<u8> {
     let length = body.len();
     format!("RTSP/1.0 200 OK\r\ncseq: 1\r\nSession: {}\r\nX-State: x0:0.75; y:zz ;x1:1.5\r\ncontent-length: {length}\r\n\r\n{body}", tag(n))
         .into_bytes()
@@ -233,8 +234,8 @@
 
 #[test]
 fn a_response_is_read_with_its_load_report_and_its_body_unchanged() {
-    let (messages, fault) = decode_servers(&answer(5, "a\r\n\r\nb\u{e9}"), &[3]);
-    assert_eq!((messages.len(), fault), (1, None));
+    let (messages, error) = decode_servers(&response(5, "a\r\n\r\nb\u{e9}"), &[3]);
+    assert_eq!((messages.len(), error), (1, None));
     let m = &messages[0];
     assert_eq!(
         (m.kind.clone(), m.cseq, m.session),
@@ -263,7 +264,7 @@
 #[test]
 fn false_lengths_are_never_waited_for() {
     let with = |length: &str| format!("RTSP/1.0 200 OK\r\nCSeq: 1\r\n{length}\r\n");
-    for (head, fault) in [
+    for (head, error) in [
         ("Content-Length: 3000000000\r\n", rtsp::DecodeError::TooLong),
         (
             "Content-Length: 99999999999999999999999\r\n",
@@ -288,16 +289,16 @@
     ] {
         assert_eq!(
             decode_servers(with(head).as_bytes(), &[7]).1,
-            Some(fault),
+            Some(error),
             "{head:?}"
         );
     }
-    // A body longer than its length: what follows does not begin like a message.
-    let mut bytes = answer(1, "abc");
+    // A body longer than its length: the rest of it does not begin like a message.
+    let mut bytes = response(1, "abc");
     bytes.extend_from_slice(b"rest of the body\r\n");
-    let (messages, fault) = decode_servers(&bytes, &[MAX_MESSAGE_BYTES]);
+    let (messages, error) = decode_servers(&bytes, &[MAX_MESSAGE_BYTES]);
     assert_eq!(
-        (messages.len(), fault),
+        (messages.len(), error),
         (1, Some(rtsp::DecodeError::StartLine))
     );
     assert_eq!(
@@ -322,8 +323,8 @@
         for (n, blob) in &set_ups {
             bytes.extend(start(*n, EXTRAS, "800", blob));
         }
-        let (messages, fault) = decode_viewers(&bytes, &pieces);
-        prop_assert_eq!(fault, None);
+        let (messages, error) = decode_viewers(&bytes, &pieces);
+        prop_assert_eq!(error, None);
         prop_assert_eq!(messages.len(), set_ups.len());
         for (message, (n, blob)) in messages.iter().zip(&set_ups) {
             let Message::Start(s) = message else { panic!("{message:?}") };
@@ -337,9 +338,9 @@
         answers in prop::collection::vec((any::<u64>(), ".{0,200}"), 1..6),
         pieces in prop::collection::vec(1usize..40, 1..8),
     ) {
-        let bytes: Vec<u8> = answers.iter().flat_map(|(n, body)| answer(*n, body)).collect();
-        let (messages, fault) = decode_servers(&bytes, &pieces);
-        prop_assert_eq!(fault, None);
+        let bytes: Vec<u8> = answers.iter().flat_map(|(n, body)| response(*n, body)).collect();
+        let (messages, error) = decode_servers(&bytes, &pieces);
+        prop_assert_eq!(error, None);
         let read: Vec<_> = messages.iter().map(|m| (m.session, m.text().expect("text"))).collect();
         let sent: Vec<_> = answers.iter().map(|(n, body)| (Some(tag(*n)), body.as_str())).collect();
         prop_assert_eq!(read, sent);
@@ -351,8 +352,8 @@
     ) {
         let title = format!("{n:016x}");
         let set_up = rtsp::SetUp { tag: tag(n), title: &title, class: &class, patience, rung, blob: &blob };
-        let (messages, fault) = decode_servers(&rtsp::set_up(&set_up), &[5]);
-        prop_assert_eq!((messages.len(), fault), (1, None));
+        let (messages, error) = decode_servers(&rtsp::set_up(&set_up), &[5]);
+        prop_assert_eq!((messages.len(), error), (1, None));
         let m = &messages[0];
         prop_assert_eq!(&m.kind, &Kind::Request("SETUP".into(), format!("rtsp://media/{title}")));
         prop_assert_eq!(m.header("Subject"), Some(class.as_str()));
@@ -370,7 +371,7 @@
         let mut bytes = if good == 1 { viewers::finish(tag(9), 16, None) } else { Vec::new() };
         bytes.extend_from_slice(&noise);
         prop_assert_eq!(decode_viewers(&bytes, &pieces), decode_viewers(&bytes, &[1]));
-        let mut bytes = if good == 1 { answer(9, "x") } else { Vec::new() };
+        let mut bytes = if good == 1 { response(9, "x") } else { Vec::new() };
         bytes.extend_from_slice(&noise);
         prop_assert_eq!(decode_servers(&bytes, &pieces), decode_servers(&bytes, &[1]));
     }
@@ -379,7 +380,7 @@
     fn a_message_with_bytes_changed_is_read_or_refused_never_more(
         at in 0usize..120, byte in any::<u8>(), pieces in prop::collection::vec(1usize..50, 1..4),
     ) {
-        let mut bytes = answer(9, "some description");
+        let mut bytes = response(9, "some description");
         let at = at % bytes.len();
         bytes[at] = byte;
         let (messages, _) = decode_servers(&bytes, &pieces);
--- a/crates/node-protocol/tests/directory.rs
+++ b/crates/node-protocol/tests/directory.rs
@@ -10,13 +10,23 @@
     Name::from_str(text).expect("a name")
 }
 
-/// An answer that lists servers (id, zone, priority, weight, port, started), with this serial.
-fn listed(id: u16, serial: u32, servers: &[(&str, &str, u16, u16, u16, u64)]) -> Message {
+/// A server as the directory lists it.
+struct ListedServer {
+    name: &'static str,
+    zone: &'static str,
+    priority: u16,
+    weight: u16,
+    port: u16,
+    started_ms: u64,
+}
+
+/// A response that lists servers, with this serial.
+fn response(id: u16, serial: u32, servers: &[ListedServer]) -> Message {
     let mut message = Message::new(id, MessageType::Response, OpCode::Query);
     let service = name("_work._tcp.fleet.local.");
-    for (server, zone, priority, weight, port, started) in servers {
-        let host = name(&format!("{server}.{zone}.hosts."));
-        let srv = SRV::new(*priority, *weight, *port, host.clone());
+    for server in servers {
+        let host = name(&format!("{}.{}.hosts.", server.name, server.zone));
+        let srv = SRV::new(server.priority, server.weight, server.port, host.clone());
         message.add_answer(Record::from_rdata(service.clone(), 0, RData::SRV(srv)));
         message.add_additional(Record::from_rdata(
             host.clone(),
@@ -26,7 +36,7 @@
         let text = vec![
             "kind=std".to_owned(),
             "cell=2".to_owned(),
-            format!("started={started}"),
+            format!("started={}", server.started_ms),
         ];
         message.add_additional(Record::from_rdata(host, 0, RData::TXT(TXT::new(text))));
     }
@@ -47,9 +57,23 @@
     message.to_vec().expect("written")
 }
 
-const TWO: [(&str, &str, u16, u16, u16, u64); 2] = [
-    ("s-00c41f7a", "east", 0, 40, 3868, 0),
-    ("s-0badcafe", "west", 1, 15, 3869, 1_700_000_000_123),
+const TWO_SERVERS: [ListedServer; 2] = [
+    ListedServer {
+        name: "s-00c41f7a",
+        zone: "east",
+        priority: 0,
+        weight: 40,
+        port: 3868,
+        started_ms: 0,
+    },
+    ListedServer {
+        name: "s-0badcafe",
+        zone: "west",
+        priority: 1,
+        weight: 15,
+        port: 3869,
+        started_ms: 1_700_000_000_123,
+    },
 ];
 
 #[test]
@@ -69,7 +93,7 @@
 
 #[test]
 fn a_complete_list_is_read_with_its_serial() {
-    let list = parse_response(5, &bytes(&listed(5, 41, &TWO))).expect("a list");
+    let list = parse_response(5, &bytes(&response(5, 41, &TWO_SERVERS))).expect("a list");
     assert_eq!(list.serial, 41);
     let [a, b] = list.entries.as_slice() else {
         panic!("{list:?}")
@@ -91,7 +115,7 @@
 
 #[test]
 fn unusable_responses_have_distinct_errors() {
-    let good = listed(5, 41, &TWO);
+    let good = response(5, 41, &TWO_SERVERS);
     assert_eq!(
         parse_response(6, &bytes(&good)),
         Err(ResponseError::OtherId)
@@ -131,7 +155,7 @@
 
 #[test]
 fn a_truncated_response_is_an_error() {
-    let whole = bytes(&listed(5, 41, &TWO));
+    let whole = bytes(&response(5, 41, &TWO_SERVERS));
     for end in 0..whole.len() {
         assert!(parse_response(5, &whole[..end]).is_err(), "cut at {end}");
     }
@@ -139,8 +163,8 @@
 
 #[test]
 fn a_pointer_that_loops_ends_in_an_error() {
-    let mut bytes = bytes(&listed(5, 41, &[]));
-    bytes.truncate(12); // The header alone, then one answer whose name points at itself.
+    let mut bytes = bytes(&response(5, 41, &[]));
+    bytes.truncate(12); // The header only; after it one answer whose name points at itself.
     bytes[6..12].copy_from_slice(&[0, 1, 0, 0, 0, 0]);
     bytes.extend_from_slice(&[0xc0, 12, 0, 33, 0, 1, 0, 0, 0, 0, 0, 0]);
     assert!(matches!(
@@ -153,7 +177,7 @@
     #[test]
     fn noise_never_panics(noise in prop::collection::vec(any::<u8>(), 0..400), at in 0usize..400, byte in any::<u8>()) {
         let _ = parse_response(0, &noise);
-        let mut bytes = bytes(&listed(5, 41, &TWO));
+        let mut bytes = bytes(&response(5, 41, &TWO_SERVERS));
         let at = at % bytes.len();
         bytes[at] = byte;
         if let Ok(list) = parse_response(5, &bytes) {
--- a/crates/node-protocol/tests/wire_text.rs
+++ b/crates/node-protocol/tests/wire_text.rs
@@ -132,24 +132,37 @@
     };
     assert_eq!((start.tag, start.blob.as_deref()), (tag(), Some("v=0\r\n")));
     assert_eq!(start.opts["left"], "1500");
-    let ask = start.set_up_params().expect("in range");
+    let params = start.set_up_params().expect("in range");
     assert_eq!(
-        (ask.class.as_str(), ask.tenant.as_deref(), ask.max_wait_ms),
+        (
+            params.class.as_str(),
+            params.tenant.as_deref(),
+            params.max_wait_ms
+        ),
         ("paid", Some("t1"), 1500)
     );
     assert_eq!(
-        (ask.is_retry, ask.is_migration, ask.duration_hint_ms),
+        (
+            params.is_retry,
+            params.is_migration,
+            params.duration_hint_ms
+        ),
         (true, true, Some(2500.0))
     );
     assert_eq!(
-        (ask.title_text.as_str(), ask.title),
+        (params.title_text.as_str(), params.title),
         ("7f3a9c21e0b4d655", 0x7f3a_9c21_e0b4_d655)
     );
     assert_eq!(
-        (ask.first_cell, ask.cell_count, ask.max_rung, ask.viewer),
+        (
+            params.first_cell,
+            params.cell_count,
+            params.max_rung,
+            params.viewer
+        ),
         (4, 3, 2, 0xb4d6_5521)
     );
-    assert_eq!(ask.current_server.as_deref(), Some("s-00c41f7a"));
+    assert_eq!(params.current_server.as_deref(), Some("s-00c41f7a"));
 }
 
 /// The one message that a server's bytes hold.
--- a/crates/node/src/event_loop/attempt_dispatch.rs
+++ b/crates/node/src/event_loop/attempt_dispatch.rs
@@ -4,7 +4,7 @@
 //! dispatched after the core has decided on all that was received. Right before that, each is checked: whether its viewer
 //! still waits, as far as the kernel knows, and whether the core still allows it.
 use super::attempt::{Attempt, AttemptState};
-use super::wire_time::whole_milliseconds;
+use super::wire_time::to_milliseconds;
 use super::EventLoop;
 use crate::shared::LinkId;
 use crankpaddle_front::{
@@ -267,7 +267,7 @@
             tag: attempt.session_id,
             title: &session.title,
             class: class.map_or("", String::as_str),
-            patience: whole_milliseconds(attempt.deadline.duration_since(now)).max(1),
+            patience: to_milliseconds(attempt.deadline.duration_since(now)).max(1),
             rung: attempt.rung,
             blob: session.description(),
         });
--- a/crates/node/src/event_loop/client_requests.rs
+++ b/crates/node/src/event_loop/client_requests.rs
@@ -1,6 +1,6 @@
 //! What viewers send: set-ups, releases, tests, and the end of their connections.
 use super::session::{Session, SessionState};
-use super::wire_time::{from_fractional_milliseconds, from_milliseconds, whole_milliseconds};
+use super::wire_time::{from_fractional_milliseconds, from_milliseconds, to_milliseconds};
 use super::{longest_wait, ConnectionId, EventLoop};
 use crate::shared::increment;
 use crankpaddle_front::{Call, Input, OpenRequest, PlayerId, Time};
@@ -285,6 +285,6 @@
 
 /// Retry advice in the protocol's milliseconds; none if it is less than one.
 pub(super) fn retry_after_ms(retry_after: Duration) -> Option<u64> {
-    let milliseconds = whole_milliseconds(retry_after);
+    let milliseconds = to_milliseconds(retry_after);
     (milliseconds > 0).then_some(milliseconds)
 }
--- a/crates/node/src/event_loop/wire_time.rs
+++ b/crates/node/src/event_loop/wire_time.rs
@@ -14,7 +14,7 @@
     Duration::from_nanos((milliseconds * NANOSECONDS_PER_MILLISECOND as f64) as u64)
 }
 
-/// The whole milliseconds in a duration.
-pub(super) fn whole_milliseconds(duration: Duration) -> u64 {
+/// A duration in milliseconds, rounded down.
+pub(super) fn to_milliseconds(duration: Duration) -> u64 {
     nanoseconds(duration) / NANOSECONDS_PER_MILLISECOND
 }
--- a/crates/node/tests/events.rs
+++ b/crates/node/tests/events.rs
@@ -345,7 +345,7 @@
 fn a_connection_that_breaks_while_its_server_is_alive_is_a_server_error() {
     let (harness, mut observed) = ObservedNode::start(1);
     let mut viewer = harness.viewer();
-    // Noise: who sends it is alive.
+    // Noise: a server that sends it is alive.
     viewer.start(tag(1), FREE, 15_000);
     let (server, connection, _) = harness.next_set_up();
     server.send(connection, b"\x00\x01");
@@ -359,7 +359,7 @@
     let (_, second, _) = harness.next_set_up();
     server.close(first);
     observed.until("ended 0 0 ServerId(1) ServerError closed false");
-    // The last one: for all one knows the process died.
+    // The last connection: the process may have died.
     server.close(second);
     observed.until("ended 1 0 ServerId(1) Reset closed false");
 }
--- a/crates/node/tests/faulty_clients.rs
+++ b/crates/node/tests/faulty_clients.rs
@@ -17,7 +17,7 @@
         bad.is_closed(),
         "closed without a word that could be taken for the honest one's answer"
     );
-    // Nor may a stranger give up what it does not wait for.
+    // Nor may another client cancel a set-up that is not its own.
     let mut stranger = harness.viewer();
     stranger.finish(tag(1), 16);
     assert_eq!(stranger.next_message()["verb"], "FINISHED");
--- a/crates/node/tests/faulty_servers.rs
+++ b/crates/node/tests/faulty_servers.rs
@@ -67,7 +67,7 @@
     server.send(connection, &accepted(tag(77), "not asked for"));
     let noise =
         b"RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 00000000000000aa\r\nContent-Length: 3\r\n\r\n\xff\x00\xfe";
-    server.send(connection, noise); // Nor does it matter what such an answer says.
+    server.send(connection, noise); // The content of such a response does not matter either.
     server.send(connection, &response(200, 9, tag(1), "", "another number"));
     server.send(connection, &accepted(tag(1), "mine"));
     server.send(connection, &accepted(tag(1), "a copy"));
@@ -120,7 +120,7 @@
     let later = loop {
         n += 1;
         viewer.start(tag(n), FREE, 15_000);
-        // A test that is asked when the one before was answered is answered behind a refusal, if there is one.
+        // If the set-up is rejected, the rejection comes before the answer to the second echo.
         let answers = [viewer.echo(), viewer.echo()];
         if answers.iter().all(|line| line["verb"] == "ECHOED") {
             break server.wait_for_request("SETUP").0;
--- a/crates/node/tests/races_endpoint_list.rs
+++ b/crates/node/tests/races_endpoint_list.rs
@@ -18,7 +18,7 @@
         (t.serial, t.servers[0].priority, t.servers[1].priority) = (3, 1, 0);
     });
     harness.directory.wait_for_queries(3);
-    harness.servers[0].resume_accepting(); // The connect comes about when the kernel tries it again.
+    harness.servers[0].resume_accepting(); // The connect succeeds when the kernel retries it.
     let (server, connection, _) = harness.next_set_up();
     assert_eq!(
         server.name, harness.servers[1].name,
@@ -39,7 +39,7 @@
         backlog,
     } = connect_to_vanished(&harness, FREE);
     let address = harness.servers[0].address;
-    // Whoever has the address now takes nothing new.
+    // The server that has the address now is draining.
     harness.directory.update(|t| {
         t.serial = 2;
         (t.servers[0].name, t.servers[0].priority) = ("s-00000099".into(), 1);
--- a/crates/node/tests/races_viewers.rs
+++ b/crates/node/tests/races_viewers.rs
@@ -87,12 +87,12 @@
     harness.wait_until_idle();
     harness.servers[0].resume_accepting();
     let mut other = harness.viewer();
-    let (server, _) = harness.establish(&mut other, tag(2), FREE); // Which is the first that it receives.
+    let (server, _) = harness.establish(&mut other, tag(2), FREE); // The first set-up that the server receives.
     assert!(!server.has_received_set_up());
     drop(backlog);
 }
 
-/// A server that takes hardly a byte until it reads.
+/// A server whose receive buffer is small, and that does not read.
 fn non_reading_server() -> TcpListener {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     set_socket_recv_buffer_size(&listener, 1024).expect("an option");
--- a/crates/node/tests/sessions.rs
+++ b/crates/node/tests/sessions.rs
@@ -105,7 +105,7 @@
         (&end["verb"], &end["tag"], &end["rc"]),
         (&json!("FINISH"), &json!(tag(1).as_str()), &json!(16))
     );
-    // What ends a session may come on any connection, too.
+    // A viewer may also end a session on any connection.
     let mut third = harness.viewer();
     third.finish(tag(2), 31);
     assert_eq!(third.next_message()["verb"], "FINISHED");
@@ -114,8 +114,8 @@
     harness.wait_until_idle();
 }
 
-/// Seen in a rush of requests: the server's answer, and 0.2 ms behind it the release of a viewer who left a stream that was
-/// served at a third. Reported as established, the session counted as never answered.
+/// Seen in a rush of requests: 0.2 ms after the server's response came the release, as the viewer had left a stream that was
+/// delivered at a third of its rate. The session was reported as established, and counted as never answered.
 #[test]
 fn a_session_that_is_over_when_its_response_is_read_is_never_reported_as_established() {
     let harness = Harness::start(1);
@@ -198,7 +198,7 @@
 
 #[test]
 fn each_outcome_keeps_its_meaning_for_a_paid_session() {
-    // Whether the answer to the first attempt proves that nothing ran, and so the second server is asked.
+    // Whether the response to the first attempt proves that nothing ran, so that a second attempt is made.
     for (status, again) in [
         (500, false),
         (453, true),
--- a/crates/node/tests/support/gate.rs
+++ b/crates/node/tests/support/gate.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 /// Stops the node's one worker at an event that the placement policy is about to get, until the test lets it go on.
-/// Nothing of the node runs meanwhile, so whatever the test does then comes before whatever the node does next.
+/// Nothing of the node runs meanwhile, so all that the test does then precedes the node's next step.
 pub(crate) struct Gate {
     armed: Arc<AtomicBool>,
     reached: Receiver<()>,
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -23,10 +23,10 @@
 
 use std::time::{Duration, Instant};
 
-/// Nothing that is waited for takes longer, however busy the machine is.
+/// The longest that any test waits for an event, also on a busy machine.
 pub(crate) const LONG: Duration = Duration::from_secs(20);
 
-/// Waits for something that needs no signal of its own, looking again and again, within a bound.
+/// Polls a condition until it holds; panics after [`LONG`].
 pub(crate) fn wait(what: &str, mut holds: impl FnMut() -> bool) {
     wait_or(|| what.to_owned(), &mut holds);
 }
--- a/crates/node/tests/support/server.rs
+++ b/crates/node/tests/support/server.rs
@@ -62,7 +62,7 @@
         }
     }
 
-    /// The first event, not taken yet, of which `wanted` makes something; the others stay.
+    /// Takes the first event for which `wanted` returns a value; the others stay.
     fn take_event<T>(&self, wanted: impl Fn(&ServerEvent) -> Option<T>) -> Option<T> {
         let mut untaken = self.untaken.borrow_mut();
         untaken.extend(self.events.try_iter());
@@ -130,13 +130,14 @@
         let _ = connections[connection].shutdown(Shutdown::Both);
     }
 
-    /// The machine vanishes: what is open stays open and silent, and no new connection comes up. The connections that fill
-    /// the listener's queue must be kept for as long.
+    /// The machine fails: open connections stay open and silent, and no new one is established. The returned connections fill
+    /// the listener's queue, and must be kept for as long.
     pub(crate) fn vanish(&self) -> Vec<TcpStream> {
         self.state.is_parked.store(false, Ordering::Release);
         self.state.has_vanished.store(true, Ordering::Release);
-        self.wake_listener(); // It takes nothing more.
-                              // Why: an accept after the queue was filled would leave room for one connection.
+        self.wake_listener(); // It accepts no more.
+
+        // Why: an accept after the queue was filled would leave room for one connection.
         wait("the listener is parked", || {
             self.state.is_parked.load(Ordering::Acquire)
         });
@@ -150,7 +151,7 @@
         self.listener.unpark();
     }
 
-    /// A machine that vanished is gone for good; another may listen at its address.
+    /// A machine that vanished never returns; another may listen at its address.
     pub(crate) fn shut_down(&self) {
         self.state.is_stopped.store(true, Ordering::Release);
         self.resume_accepting();
@@ -161,7 +162,7 @@
         self.try_take_request("SETUP").is_some()
     }
 
-    /// The process dies: nobody listens any more and connections end.
+    /// The process dies: its listener and its connections are closed.
     pub(crate) fn kill(&self) {
         self.state.is_stopped.store(true, Ordering::Release);
         self.wake_listener(); // It ends.
@@ -191,7 +192,7 @@
         }
         while state.has_vanished.load(Ordering::Acquire) {
             state.is_parked.store(true, Ordering::Release);
-            std::thread::park(); // It stays open, and nobody accepts.
+            std::thread::park(); // The listener stays open without accepting.
         }
         let Ok(stream) = stream else { return };
         let _ = stream.set_nodelay(true); // Only slower without it.
--- a/crates/node/tests/unusual_deployment.rs
+++ b/crates/node/tests/unusual_deployment.rs
@@ -74,7 +74,7 @@
     stories
 }
 
-/// All that lies at the servers; each attempt keeps the rules.
+/// Takes all set-ups that the servers have received, and checks each against the rules.
 fn take_attempts<'a>(
     servers: &'a [Server],
     stories: &mut Stories,
@@ -117,7 +117,7 @@
     assert!(story.sent <= 4, "{session} was sent {} times", story.sent);
 }
 
-/// Reads answers up to that of a test that is sent now; how many there were.
+/// Sends an echo and reads the answers before its own; returns how many there were.
 fn read_answers(viewer: &mut Viewer, stories: &mut Stories) -> u64 {
     viewer.send_json(&json!({"verb": "ECHO", "tag": "00000000000000ff", "opts": {}, "rc": 0}));
     let mut answered = 0;
@@ -149,7 +149,8 @@
     let mut stories = send_requests(&mut viewer);
     let (mut answered, mut received) = (0, 0u64);
     while answered < REQUESTS {
-        // All that lies at the servers is out together; then each is answered, each way in turn; then the answers are read.
+        // All attempts that the servers have received are taken; then each is answered, each way in turn; then the viewer's
+        // answers are read.
         for (name, attempt) in take_attempts(&harness.servers, &mut stories) {
             received += 1;
             let story = stories.get_mut(&name).expect("just looked at");
