--- a/crates/node-protocol/tests/wire_text.rs
+++ b/crates/node-protocol/tests/wire_text.rs
@@ -1,6 +1,6 @@
 //! Wire text: the exact bytes that the node writes to viewers, servers and the directory, and what each kind of message read from them
 //! decodes to. Names in the code may change; the literals here may not.
-use crankpaddle_node_protocol::rtsp::Kind;
+use crankpaddle_node_protocol::rtsp::{Figure, Kind};
 use crankpaddle_node_protocol::viewers::Message;
 use crankpaddle_node_protocol::{directory, rtsp, viewers, Tag};
 
@@ -132,24 +132,37 @@
     };
     assert_eq!((start.tag, start.blob.as_deref()), (tag(), Some("v=0\r\n")));
     assert_eq!(start.opts["left"], "1500");
-    let ask = start.set_up_params().expect("in range");
+    let params = start.set_up_params().expect("in range");
     assert_eq!(
-        (ask.class.as_str(), ask.tenant.as_deref(), ask.max_wait_ms),
+        (
+            params.class.as_str(),
+            params.tenant.as_deref(),
+            params.max_wait_ms
+        ),
         ("paid", Some("t1"), 1500)
     );
     assert_eq!(
-        (ask.is_retry, ask.is_migration, ask.duration_hint_ms),
+        (
+            params.is_retry,
+            params.is_migration,
+            params.duration_hint_ms
+        ),
         (true, true, Some(2500.0))
     );
     assert_eq!(
-        (ask.title_text.as_str(), ask.title),
+        (params.title_text.as_str(), params.title),
         ("7f3a9c21e0b4d655", 0x7f3a_9c21_e0b4_d655)
     );
     assert_eq!(
-        (ask.first_cell, ask.cell_count, ask.max_rung, ask.viewer),
+        (
+            params.first_cell,
+            params.cell_count,
+            params.max_rung,
+            params.viewer
+        ),
         (4, 3, 2, 0xb4d6_5521)
     );
-    assert_eq!(ask.current_server.as_deref(), Some("s-00c41f7a"));
+    assert_eq!(params.current_server.as_deref(), Some("s-00c41f7a"));
 }
 
 /// The one message that a server's bytes hold.
@@ -205,6 +218,10 @@
     }
 }
 
+fn figure(name: &str, value: f64) -> Figure<'_> {
+    Figure { name, value }
+}
+
 #[test]
 fn headers_and_body_of_a_servers_message_are_kept_as_they_came() {
     let message = from_server(
@@ -223,9 +240,12 @@
         headers.map(|(name, value)| (name.to_owned(), value.to_owned()))
     );
     assert_eq!(
-        (message.cause(), message.note()),
-        (Some(41), Some(("link_use", 0.5)))
+        (message.cause(), message.session_update()),
+        (Some(41), Some(figure("link_use", 0.5)))
+    );
+    assert_eq!(
+        message.load_report(),
+        [figure("x0", 0.25), figure("x1", -1.0)]
     );
-    assert_eq!(message.state(), [("x0", 0.25), ("x1", -1.0)]);
     assert_eq!(message.body, b"abc");
 }
--- a/crates/node/src/budget.rs
+++ b/crates/node/src/budget.rs
@@ -20,8 +20,8 @@
 /// Bounds that follow from the limits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Budget {
-    /// Viewers' connections: half of the shared descriptors. The platform's viewers hold at most a third of the limit; the rest
-    /// is headroom to close bad ones.
+    /// Viewers' connections: half of the shared descriptors. Honest viewers need at most a third of all; the rest is headroom,
+    /// so that faulty clients can be accepted and closed.
     pub(crate) viewers: usize,
     /// Connections to servers.
     pub(crate) links: usize,
--- a/crates/node/src/event_loop/client_requests.rs
+++ b/crates/node/src/event_loop/client_requests.rs
@@ -1,16 +1,16 @@
 //! What viewers send: set-ups, releases, tests, and the end of their connections.
 use super::session::{Session, SessionState};
-use super::{ConnectionId, EventLoop, DEADLINE_SLACK, MILLISECOND};
+use super::wire_time::{from_fractional_milliseconds, from_milliseconds, to_milliseconds};
+use super::{longest_wait, ConnectionId, EventLoop};
 use crate::shared::increment;
 use crankpaddle_front::{Call, Input, OpenRequest, PlayerId, Time};
 use crankpaddle_net::clock;
 use crankpaddle_node_protocol::viewers::{self, cause, InvalidField, Message, SetUpParams};
 use crankpaddle_node_protocol::Tag;
-use crankpaddle_time::nanoseconds;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// A set-up whose fields are in range.
+/// A set-up whose fields are in range, as the protocol and as the core have it.
 struct SetUpRequest {
     params: SetUpParams,
     open: OpenRequest,
@@ -21,7 +21,7 @@
         &mut self,
         connection: ConnectionId,
         message: Message,
-        received_at: u64,
+        received_at: Time,
     ) {
         match message {
             Message::Start(set_up) => self.handle_set_up(connection, &set_up, received_at),
@@ -37,7 +37,7 @@
         &mut self,
         connection: ConnectionId,
         set_up: &viewers::SetUp,
-        received_at: u64,
+        received_at: Time,
     ) {
         let request = self.read_set_up(set_up);
         if self.players.contains_key(&set_up.tag) {
@@ -54,8 +54,8 @@
         }
     }
 
-    /// A set-up under the id of another one. One that is to be adopted may name a session that is known already. Any other is
-    /// closed without an answer. Why: an answer by this id would be taken for that of the set-up that has it.
+    /// A set-up under the id of another one. An adoption may name a session that is known already, and is ignored. For any other
+    /// the connection is closed without an answer. Why: an answer names the id, and would be taken for the other set-up's.
     fn handle_duplicate(&mut self, connection: ConnectionId, request: Option<&SetUpRequest>) {
         let is_adoption = request.is_some_and(|request| request.params.current_server.is_some());
         if !is_adoption {
@@ -78,7 +78,7 @@
         );
     }
 
-    /// Adopts a session that plays already, if the list has its server.
+    /// Adopts a session that plays already, if the list in force has its server.
     fn adopt_session(&mut self, session_id: Tag, request: SetUpRequest) {
         let SetUpRequest { params, open } = request;
         let Some(server) = params
@@ -107,7 +107,7 @@
         connection: ConnectionId,
         set_up: &viewers::SetUp,
         request: SetUpRequest,
-        received_at: u64,
+        received_at: Time,
     ) {
         let SetUpRequest { params, open } = request;
         let session_id = set_up.tag;
@@ -125,7 +125,7 @@
             return;
         }
         viewer.pending_set_ups.fetch_add(1, Ordering::AcqRel);
-        viewer.extend_output_deadline(received_at.saturating_add(nanoseconds(open.max_wait)));
+        viewer.extend_output_deadline(received_at + open.max_wait);
         tracing::trace!(%session_id, connection_id = connection.0, opts = ?set_up.opts, "set-up received");
         let description = set_up.blob.clone().unwrap_or_default();
         let player = self.insert_session(Session {
@@ -138,11 +138,11 @@
         self.notify_core(Input::Open {
             call: Call { player, number: 0 },
             open,
-            received: Time(received_at),
+            received: received_at,
         });
     }
 
-    /// Makes a session known by its id; the player that it is to the core.
+    /// Adds a session to the tables; returns the player number by which the core knows it.
     fn insert_session(&mut self, session: Session) -> PlayerId {
         self.last_player += 1;
         let player = PlayerId(self.last_player);
@@ -171,9 +171,9 @@
             .position(|class| *class == params.class)
             .ok_or(InvalidField("class"))?;
         let tenant = self.tenant_index(params.tenant.as_deref())?;
-        let max_wait = params.max_wait_ms.saturating_mul(MILLISECOND);
-        let longest_wait = fleet.deadlines[class].saturating_add(DEADLINE_SLACK);
-        if params.current_server.is_none() && max_wait > longest_wait {
+        let max_wait = from_milliseconds(params.max_wait_ms);
+        let is_adoption = params.current_server.is_some();
+        if !is_adoption && max_wait > longest_wait(fleet.deadlines[class]) {
             return Err(InvalidField("left"));
         }
         let settings = &fleet.settings;
@@ -195,10 +195,8 @@
             first_cell: params.first_cell,
             cell_count: params.cell_count,
             max_rung: params.max_rung,
-            max_wait: Duration::from_nanos(max_wait),
-            duration_hint: params
-                .duration_hint_ms
-                .map(|ms| Duration::from_nanos((ms * MILLISECOND as f64) as u64)),
+            max_wait,
+            duration_hint: params.duration_hint_ms.map(from_fractional_milliseconds),
             is_retry: params.is_retry,
             is_migration: params.is_migration,
         })
@@ -248,7 +246,7 @@
         };
         self.session_connections.retain(|other| *other != id);
         if connection.pending_set_ups.load(Ordering::Relaxed) == 0 {
-            return; // Most connections: all sessions need not be looked at for each.
+            return; // True of most connections, and saves a search through all sessions.
         }
         let pending: Vec<PlayerId> = self
             .sessions
@@ -270,13 +268,11 @@
         Some(session)
     }
 
-    /// One set-up fewer waits for its answer on this connection.
+    /// Counts one pending set-up less on this connection.
     pub(super) fn set_up_answered(&self, connection: ConnectionId) {
         if let Some(connection) = self.connections.get(&connection) {
             connection.pending_set_ups.fetch_sub(1, Ordering::AcqRel);
-            connection
-                .last_used
-                .store(clock::now().as_nanos(), Ordering::Relaxed);
+            connection.set_last_used(clock::now());
         }
     }
 
@@ -287,8 +283,8 @@
     }
 }
 
-/// How long to stay away, in the milliseconds of the protocol; none where that is less than one.
+/// Retry advice in the protocol's milliseconds; none if it is less than one.
 pub(super) fn retry_after_ms(retry_after: Duration) -> Option<u64> {
-    let milliseconds = nanoseconds(retry_after) / MILLISECOND;
+    let milliseconds = to_milliseconds(retry_after);
     (milliseconds > 0).then_some(milliseconds)
 }
--- a/crates/node/src/event_loop/endpoint_list.rs
+++ b/crates/node/src/event_loop/endpoint_list.rs
@@ -1,11 +1,13 @@
 //! The directory's list in the core's terms.
 use super::server::Server;
-use super::{EventLoop, MILLISECOND};
+use super::wire_time::from_milliseconds;
+use super::EventLoop;
 use crate::health::Health;
 use crankpaddle_front::{Endpoint, EndpointListKind, Input, Lifecycle, ServerId, Time};
 use crankpaddle_net::clock;
 use crankpaddle_node_protocol::directory::{Entry, List, State};
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// A server of a list that does not fit the settings.
 #[derive(Clone, PartialEq, Eq)]
@@ -20,16 +22,16 @@
     field: &'static str,
 }
 
-/// A list, sorted into what fits the settings and what does not.
+/// A list, split into servers that fit the settings and those that do not.
 struct SortedList {
     endpoints: BTreeMap<ServerId, Entry>,
     incompatible: Vec<IncompatibleServer>,
 }
 
 impl EventLoop {
-    /// Takes a list over: the core is notified of what has changed.
+    /// Applies a list: the core is notified of the changes.
     pub(super) fn update_endpoints(&mut self, list: List, kind: EndpointListKind) {
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         let SortedList {
             endpoints: listed,
             incompatible,
@@ -40,29 +42,30 @@
         let previous = std::mem::take(&mut self.endpoints);
         let mut changes = Vec::new();
         for (id, entry) in &previous {
-            if listed.contains_key(id) {
-                continue;
-            }
-            if let Ok(endpoint) = self.endpoint(*id, entry) {
-                changes.push(Endpoint {
-                    lifecycle: Lifecycle::Removed,
-                    ..endpoint
-                });
+            if !listed.contains_key(id) {
+                changes.extend(self.removed_endpoint(*id, entry));
+                self.server_unlisted(*id);
             }
-            self.server_unlisted(*id);
         }
         for (id, entry) in &listed {
             let before = previous.get(id);
-            if before == Some(entry) && kind == EndpointListKind::Delta {
-                continue;
+            if before != Some(entry) || kind != EndpointListKind::Delta {
+                changes.extend(self.endpoint(*id, entry));
+                self.server_listed(*id, entry, before, now);
             }
-            changes.extend(self.endpoint(*id, entry));
-            self.server_listed(*id, entry, before, now);
         }
         self.endpoints = listed;
         self.notify_of_changes(kind, changes);
     }
 
+    fn removed_endpoint(&self, id: ServerId, entry: &Entry) -> Option<Endpoint> {
+        let endpoint = self.endpoint(id, entry).ok()?;
+        Some(Endpoint {
+            lifecycle: Lifecycle::Removed,
+            ..endpoint
+        })
+    }
+
     fn notify_of_changes(&mut self, kind: EndpointListKind, changes: Vec<Endpoint>) {
         let draining: Vec<ServerId> = changes
             .iter()
@@ -111,12 +114,12 @@
         }
     }
 
-    /// Whether a list may be taken over; incompatible servers are logged once, when they change. `has_no_endpoints`: it has no
+    /// Whether a list may be applied; incompatible servers are logged once, when they change. `has_no_endpoints`: it has no
     /// other servers.
     ///
-    /// Why: taken for the first zone or kind that the settings name, what belongs to another deployment would be counted and sent
-    /// to as ours; and a list of nothing but such servers, as of a directory that is not ours, would end all sessions here. A
-    /// server that is listed with a zone or kind that the settings lack takes no part until they name it.
+    /// Why: a server with a zone, kind or cell that the settings do not name may be another deployment's, so it gets no set-ups
+    /// until the settings name them. A list that has only such servers comes from another deployment's directory; applied, it
+    /// would end all sessions here.
     fn accept_list(
         &mut self,
         incompatible: Vec<IncompatibleServer>,
@@ -149,19 +152,19 @@
                 State::Draining => Lifecycle::Draining,
             },
             weight: entry.weight,
-            started_at: Time(started_at(entry)),
+            started_at: started_at(entry),
         })
     }
 
     /// A server is in the list, new or changed.
-    fn server_listed(&mut self, id: ServerId, entry: &Entry, before: Option<&Entry>, now: u64) {
+    fn server_listed(&mut self, id: ServerId, entry: &Entry, before: Option<&Entry>, now: Time) {
         if let Some(before) = before {
             let has_moved = before.address != entry.address;
             if has_moved || before.started_ms < entry.started_ms {
                 self.new_incarnation(id, started_at(entry), has_moved);
             }
         }
-        let update_interval = self.shared.config.fleet.settings.update_interval;
+        let update_interval = self.update_interval();
         let server = self
             .servers
             .entry(id)
@@ -170,8 +173,14 @@
         server.is_listed = true;
     }
 
-    /// A server is not in the list any more. Its links go on while the server holds them, but a new connection to its
-    /// address may reach another server, so none is made.
+    /// The time between two updates of a session, if the settings name one: 0 is none.
+    fn update_interval(&self) -> Option<Duration> {
+        let interval = self.shared.config.fleet.settings.update_interval;
+        (interval > 0).then_some(Duration::from_nanos(interval))
+    }
+
+    /// A server is not in the list any more. Its links stay open until the server closes them, but no new connection is made,
+    /// as its address may be another server's by now.
     fn server_unlisted(&mut self, id: ServerId) {
         let Some(server) = self.servers.get_mut(&id) else {
             return;
@@ -212,9 +221,9 @@
     names.iter().position(|known| known == name)
 }
 
-/// When a server started late, nanoseconds; 0 where the list names no time.
-fn started_at(entry: &Entry) -> u64 {
-    entry.started_ms.saturating_mul(MILLISECOND)
+/// When a server started late; the origin of the clock where the list names no time.
+fn started_at(entry: &Entry) -> Time {
+    Time::ZERO + from_milliseconds(entry.started_ms)
 }
 
 /// The first hash value of FNV-1a, 32 bits.
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -7,7 +7,8 @@
 //! - `server_links`, `server_liveness`: connections to servers, and what their loss means for sessions;
 //! - `endpoint_list`: the directory's list;
 //! - `core_driver`: inputs into the core and outputs from it;
-//! - `maintenance`, `shutdown`: what is due from time to time, and the end.
+//! - `maintenance`, `shutdown`: what is due from time to time, and the end;
+//! - `wire_time`: times on the wire.
 mod attempt;
 mod attempt_dispatch;
 mod attempt_lifecycle;
@@ -24,6 +25,7 @@
 mod session;
 mod set_up_responses;
 mod shutdown;
+mod wire_time;
 
 use crate::shared::{InboxMessage, LinkId, Shared};
 use crate::viewer_connection::{ConnectionId, ViewerConnection};
@@ -37,6 +39,7 @@
 use crankpaddle_node_protocol::directory::Entry;
 use crankpaddle_node_protocol::viewers::cause;
 use crankpaddle_node_protocol::Tag;
+use crankpaddle_time::nanoseconds;
 use endpoint_list::IncompatibleServer;
 use link::Link;
 use maintenance::Schedule;
@@ -50,16 +53,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-const MILLISECOND: u64 = 1_000_000;
-const SECOND: u64 = 1000 * MILLISECOND;
-/// Messages handled before timers are looked at.
+/// Messages handled before timers are checked.
 const MESSAGE_BATCH: usize = 128;
-/// A set-up is answered so long before its viewer times out at the latest.
+/// A set-up is answered at least this long before its viewer times out.
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
-/// What a viewer may wait beyond its class's deadline; more is out of range.
-const DEADLINE_SLACK: u64 = SECOND;
+/// How much longer than its class's deadline a viewer may wait; a longer wait is out of range.
+const DEADLINE_SLACK: Duration = Duration::from_secs(1);
 /// A release that can't be sent is retried for this long.
-const RELEASE_RETRY_PERIOD: u64 = 8 * SECOND;
+const RELEASE_RETRY_PERIOD: Duration = Duration::from_secs(8);
 
 /// The event loop's state: the core, and the tables that tie its numbers to connections.
 pub(crate) struct EventLoop {
@@ -79,7 +80,7 @@
     endpoints: BTreeMap<ServerId, Entry>,
     /// Servers of the last list that do not fit the settings.
     incompatible_servers: Vec<IncompatibleServer>,
-    /// Notifications to viewers that no connection could take.
+    /// Notifications to viewers that no connection accepted.
     unsent_notifications: VecDeque<UnsentMessage>,
     last_player: u64,
     last_link: u64,
@@ -91,17 +92,22 @@
     is_carrying_out: bool,
     outputs: Vec<Output>,
     /// When draining began.
-    drain_started_at: Option<u64>,
-    /// What was taken from the inbox behind the message that is being handled.
+    drain_started_at: Option<Time>,
+    /// Messages taken from the inbox that have not been handled.
     message_queue: VecDeque<InboxMessage>,
 }
 
+/// The longest that a viewer of a class may wait, from the class's deadline in the settings' nanoseconds.
+fn longest_wait(deadline: u64) -> Duration {
+    Duration::from_nanos(deadline.saturating_add(nanoseconds(DEADLINE_SLACK)))
+}
+
 fn core_config(shared: &Shared) -> CoreConfig {
     let deadlines = &shared.config.fleet.deadlines;
     CoreConfig {
         max_wait: deadlines
             .iter()
-            .map(|deadline| Duration::from_nanos(deadline.saturating_add(DEADLINE_SLACK)))
+            .map(|deadline| longest_wait(*deadline))
             .collect(),
         answer_margin: ANSWER_MARGIN,
         resume_window: Duration::ZERO,
@@ -120,7 +126,7 @@
             config.fleet.settings.clone(),
             core_config(&shared),
             config.seed,
-            Time(clock::now().as_nanos()),
+            clock::now(),
         );
         if let Some(observer) = observer {
             core.set_event_observer(observer);
@@ -155,14 +161,14 @@
 
     /// Runs until the node has ended.
     pub(crate) fn run(mut self, inbox: &Receiver<InboxMessage>) {
-        let mut schedule = Schedule::starting_at(clock::now().as_nanos());
+        let mut schedule = Schedule::starting_at(clock::now());
         while !self.has_ended() {
             if self.wait_for_message(inbox, &schedule).is_break() {
                 break;
             }
             self.drain_inbox(inbox);
             self.catch_up_after_stall(inbox);
-            let now = clock::now().as_nanos();
+            let now = clock::now();
             if schedule.maintenance.is_due(now) {
                 self.run_maintenance(now);
             }
@@ -175,17 +181,17 @@
         tracing::info!("shutdown complete");
     }
 
-    /// Waits until a message comes or something is due; breaks when nobody can send any more.
+    /// Waits until a message comes or something is due; breaks when the inbox has no sender any more.
     fn wait_for_message(
         &mut self,
         inbox: &Receiver<InboxMessage>,
         schedule: &Schedule,
     ) -> ControlFlow<()> {
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         let recheck_at = if self.dispatch_queue.is_empty() {
-            u64::MAX
+            Time::MAX
         } else {
-            now.saturating_add(RECHECK_INTERVAL)
+            now + RECHECK_INTERVAL
         };
         let wake_at = self
             .next_core_expiry()
@@ -194,7 +200,7 @@
         if wake_at <= now {
             return ControlFlow::Continue(());
         }
-        match recv_until(inbox, Time(wake_at)) {
+        match recv_until(inbox, wake_at) {
             Ok(message) => {
                 self.enqueue(message);
                 ControlFlow::Continue(())
@@ -204,20 +210,20 @@
         }
     }
 
-    /// Handles what came while the whole process stood still before anything that fell due meanwhile.
+    /// After the whole process was stalled, handles the messages that came meanwhile before the timers that fell due.
     fn catch_up_after_stall(&mut self, inbox: &Receiver<InboxMessage>) {
         let due_at = self.next_core_expiry();
-        let stalled = drain_after_stall(Time(due_at), || self.drain_inbox(inbox) == MESSAGE_BATCH);
+        let stalled = drain_after_stall(due_at, || self.drain_inbox(inbox) == MESSAGE_BATCH);
         if stalled {
             tracing::warn!("event loop stalled");
         }
     }
 
-    fn next_core_expiry(&self) -> u64 {
-        self.core.next_expiry().map_or(u64::MAX, |time| time.0)
+    fn next_core_expiry(&self) -> Time {
+        self.core.next_expiry().unwrap_or(Time::MAX)
     }
 
-    /// Handles what was queued before and what lies in the inbox, one batch at most; how many messages came from the inbox.
+    /// Handles the queued messages and at most one batch from the inbox; returns how many came from the inbox.
     fn drain_inbox(&mut self, inbox: &Receiver<InboxMessage>) -> usize {
         let count = drain_queue(inbox, MESSAGE_BATCH, |message| self.enqueue(message));
         while let Some(message) = self.message_queue.pop_front() {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -7,6 +7,7 @@
 use crankpaddle_node_protocol::config::Config;
 use crankpaddle_node_protocol::directory::List;
 use crankpaddle_node_protocol::{rtsp, viewers};
+use crankpaddle_time::Time;
 use may::sync::mpsc::{channel, Receiver, Sender};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -34,8 +35,8 @@
     FromViewer {
         connection: ConnectionId,
         message: viewers::Message,
-        /// When it was read, nanoseconds.
-        received_at: u64,
+        /// When it was read.
+        received_at: Time,
     },
     /// A viewer's connection has ended.
     ViewerDisconnected(ConnectionId),
@@ -51,25 +52,25 @@
     Drain,
 }
 
-/// What a node holds at a moment.
+/// What a node holds at a moment, and logs as `counts`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
-    /// Set-ups without an answer.
+    /// Set-ups that the core has accepted for a decision and that have no answer.
     pub waiting: usize,
-    /// Established sessions.
+    /// Sessions that play: established by a set-up or adopted, and not ended.
     pub playing: usize,
-    /// Connections from viewers.
+    /// Open connections from viewers.
     pub viewers: usize,
-    /// Connections to servers, those under way included.
+    /// Connections to servers, those that are being opened or closed included.
     pub links: usize,
-    /// Entries of the event loop's tables of sessions, attempts and what is still to be released.
+    /// Entries of the event loop's tables: sessions, attempts, abandoned set-ups, and messages that no connection could take.
     pub entries: usize,
 }
 
 /// What was rejected or dropped, by kind; logged with the counts.
 #[derive(Debug, Default)]
 pub(crate) struct DropCounters {
-    /// Viewers' connections with bytes that are no messages.
+    /// Viewers' connections that were closed because of a malformed message.
     pub(crate) malformed: AtomicU64,
     /// Set-ups with a field that is missing or out of range.
     pub(crate) out_of_range: AtomicU64,
@@ -77,7 +78,7 @@
     pub(crate) duplicate: AtomicU64,
     /// Set-ups beyond what one connection may have without an answer.
     pub(crate) too_many_pending: AtomicU64,
-    /// Servers' connections with bytes that are no messages.
+    /// Servers' connections that were closed because of a malformed message.
     pub(crate) broken_links: AtomicU64,
     /// Servers' responses that no attempt waits for.
     pub(crate) unexpected_responses: AtomicU64,
@@ -99,7 +100,7 @@
     nameserver: Mutex<SocketAddr>,
 }
 
-/// Connections are looked through so often for those that have expired.
+/// How often connections are checked for expiry.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
 
 impl Shared {
