--- a/crates/config/src/check/store.rs
+++ b/crates/config/src/check/store.rs
@@ -2,6 +2,7 @@
 use super::ConfigChecker;
 use crate::{schema, Store};
 use crankpaddle_recovery::StageTimeouts;
+use std::time::Duration;
 
 impl ConfigChecker<'_, '_> {
     /// `warm_up` is the time after which a restarted server is warm, nanoseconds.
@@ -24,17 +25,19 @@
             dir: store.dir.clone().into(),
             name: store.name.clone(),
             key_file: self.key_file(&path("key_file"), &store.key_file),
-            steps: self.stage_timeouts(store, warm_up),
+            steps: self.stage_timeouts(store, Duration::from_nanos(warm_up)),
             boot_file: store.boot_file().into(),
         })
     }
 
-    fn stage_timeouts(&mut self, store: &schema::Store, warm_up: u64) -> StageTimeouts {
+    fn stage_timeouts(&mut self, store: &schema::Store, warm_up: Duration) -> StageTimeouts {
         StageTimeouts {
-            reconciliation_timeout: self.time("store[0].settle", store.settle()),
-            paid_quiet_period: self.time("store[0].calm", store.calm()),
+            reconciliation_timeout: Duration::from_nanos(
+                self.time("store[0].settle", store.settle()),
+            ),
+            paid_quiet_period: Duration::from_nanos(self.time("store[0].calm", store.calm())),
             paid_only_timeout: match &store.paid_first {
-                Some(time) => self.time("store[0].paid_first", time),
+                Some(time) => Duration::from_nanos(self.time("store[0].paid_first", time)),
                 None => warm_up,
             },
             warm_up_duration: warm_up,
--- a/crates/daemon/src/event_loop/durable_setup.rs
+++ b/crates/daemon/src/event_loop/durable_setup.rs
@@ -112,8 +112,8 @@
         } else {
             result
         };
-        let uptime_ms = durable.uptime_ms();
-        let write = durable.ledger.attempt_ended(name, result, uptime_ms);
+        let uptime = durable.uptime();
+        let write = durable.ledger.attempt_ended(name, result, uptime);
         durable.write(write);
     }
 
@@ -123,13 +123,13 @@
             return;
         };
         durable.maintenance_rounds += 1;
-        let uptime_ms = durable.uptime_ms();
-        let mut writes = durable.ledger.prune(uptime_ms, PRUNED_PER_ROUND);
+        let uptime = durable.uptime();
+        let mut writes = durable.ledger.prune(uptime, PRUNED_PER_ROUND);
         if durable
             .maintenance_rounds
             .is_multiple_of(ROUNDS_PER_UPTIME_WRITE)
         {
-            writes.push(StoreWrite::Uptime(uptime_ms));
+            writes.push(StoreWrite::Uptime(uptime));
         }
         let fleet_size = self.core.replica_count();
         let is_normal = self.core.stage() == RecoveryStage::Normal;
--- a/crates/daemon/src/event_loop/durable_state.rs
+++ b/crates/daemon/src/event_loop/durable_state.rs
@@ -1,15 +1,15 @@
 //! What the event loop owns where a store is configured: the ledger of paid set-ups, and the state of
 //! recovery.
-use super::MILLISECOND;
 use crate::attempt_sender::SetUpRequest;
 use crankpaddle_api::describe::Fleet;
-use crankpaddle_front::{AttemptId, Endpoint, EndpointListKind, ServerId};
+use crankpaddle_front::{AttemptId, Endpoint, EndpointListKind, ServerId, Time};
 use crankpaddle_net::clock;
 use crankpaddle_recovery::reconciliation::InventorySession;
 use crankpaddle_recovery::{IntentLedger, Reconciliation, StoreWrite};
 use crankpaddle_store::{StoreWriter, WriteRequest};
 use std::collections::{BTreeMap, HashMap};
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 /// A list that came before reconciliation was complete.
 pub(super) struct DeferredList {
@@ -44,10 +44,10 @@
     /// `None`: the disk failed at the start, so nothing paid is set up.
     pub(super) writer: Option<StoreWriter>,
     pub(super) reconciliation: Reconciliation,
-    /// Clock time of the start of this incarnation, nanoseconds.
-    pub(super) started_at: u64,
-    /// Uptime of all previous incarnations together, milliseconds.
-    pub(super) previous_uptime_ms: u64,
+    /// When this incarnation started.
+    pub(super) started_at: Time,
+    /// Uptime of all previous incarnations together.
+    pub(super) previous_uptime: Duration,
     /// Set-ups that are sent when their intent is on disk.
     pub(super) pending_sends: HashMap<AttemptId, SetUpRequest>,
     pub(super) phase: RecoveryPhase,
@@ -55,7 +55,7 @@
     pub(super) sessions_in_adoption: HashMap<u64, FoundSession>,
     pub(super) last_token: u64,
     /// When servers started, by the age that their inventories state.
-    pub(super) server_starts: BTreeMap<ServerId, u64>,
+    pub(super) server_starts: BTreeMap<ServerId, Time>,
     pub(super) maintenance_rounds: u64,
     pub(super) stored_fleet_size: u32,
     /// The part of the status that does not change in this incarnation.
@@ -83,15 +83,14 @@
         matches!(self.phase, RecoveryPhase::Reconciling(_))
     }
 
-    /// Uptime of all incarnations together, milliseconds.
-    pub(super) fn uptime_ms(&self) -> u64 {
-        self.previous_uptime_ms
-            + clock::now().as_nanos().saturating_sub(self.started_at) / MILLISECOND
+    /// Uptime of all incarnations together.
+    pub(super) fn uptime(&self) -> Duration {
+        self.previous_uptime + clock::now().duration_since(self.started_at)
     }
 
     /// Writes the uptime, and where the shutdown is clean, that it was; returns the thread that writes.
     pub(super) fn finish(self, is_clean: bool) -> Option<JoinHandle<()>> {
-        let mut writes = vec![StoreWrite::Uptime(self.uptime_ms())];
+        let mut writes = vec![StoreWrite::Uptime(self.uptime())];
         if is_clean {
             writes.push(StoreWrite::CleanShutdown);
         }
--- a/crates/daemon/src/event_loop/previous_incarnation.rs
+++ b/crates/daemon/src/event_loop/previous_incarnation.rs
@@ -1,11 +1,13 @@
 //! The start from a store: what the previous incarnations of this front left is passed to the core.
 use super::durable_state::{Deferred, DurableState, RecoveryPhase};
-use super::{EventLoop, MILLISECOND};
+use super::EventLoop;
 use crate::config_lookup::{index_of, tenant_index};
 use crate::message::Message;
 use crate::recovered_state::OpenedState;
 use crankpaddle_api::describe::{Fleet, Former};
-use crankpaddle_front::{keys::RequestOutcome, AttemptId, Input, PreviousShutdown, StagedRecovery};
+use crankpaddle_front::{
+    keys::RequestOutcome, AttemptId, Input, PreviousShutdown, StagedRecovery, Time,
+};
 use crankpaddle_net::clock;
 use crankpaddle_recovery::{
     Intent, IntentLedger, IntentOutcome, Key, Reconciliation, RecoveredState,
@@ -13,6 +15,7 @@
 use crankpaddle_store::{Store, StoreWriter};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// A class that is no longer configured; the core treats it as paid.
 const UNKNOWN_CLASS: u8 = u8::MAX;
@@ -23,7 +26,7 @@
         let Some(store_config) = &self.shared.config.store else {
             return;
         };
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         let recovered = &opened.recovered;
         let mut recovery = StagedRecovery::new(store_config.steps, now);
         recovery.start_reading(now);
@@ -43,7 +46,7 @@
 
     fn durable_state(
         &self,
-        now: u64,
+        now: Time,
         front_name: String,
         recovered: &RecoveredState,
         store: Option<Store>,
@@ -52,14 +55,14 @@
         let intents = &recovered.intents.0;
         DurableState {
             ledger: IntentLedger::new(
-                core_config.key_retention / MILLISECOND,
+                Duration::from_nanos(core_config.key_retention),
                 core_config.max_retained_keys,
                 intents,
             ),
             writer: store.map(|store| self.start_writer(store)),
             reconciliation: Reconciliation::new(intents),
             started_at: now,
-            previous_uptime_ms: recovered.uptime_ms.0,
+            previous_uptime: recovered.uptime.0,
             pending_sends: HashMap::new(),
             phase: first_phase(recovered.shutdown),
             sessions_in_adoption: HashMap::new(),
--- a/crates/daemon/src/event_loop/reconciliation.rs
+++ b/crates/daemon/src/event_loop/reconciliation.rs
@@ -1,16 +1,18 @@
 //! Reconciliation with the servers: which set-ups of a previous incarnation ran, and which sessions still
 //! play.
 use super::durable_state::{DeferredList, DurableState, FoundSession, RecoveryPhase};
-use super::{EventLoop, MILLISECOND};
+use super::EventLoop;
 use crate::inventory_client;
 use crankpaddle_front::{
     keys::RequestOutcome, Endpoint, EndpointListKind, Input, Lifecycle, RecoveryStage, ServerId,
     StageEvidence, Time,
 };
 use crankpaddle_net::clock;
+use crankpaddle_recovery::intents::milliseconds;
 use crankpaddle_recovery::reconciliation::{ReconciliationStep, Resolution};
-use crankpaddle_recovery::{Intent, IntentOutcome, Key, Reconciliation};
+use crankpaddle_recovery::{IntentOutcome, Key, Reconciliation};
 use crankpaddle_server_protocol::session_inventory::SessionInventory;
+use std::time::Duration;
 
 impl EventLoop {
     /// Defers a list while it is not known which servers are warming up; true where it does.
@@ -112,8 +114,7 @@
     }
 
     pub(super) fn inventory_received(&mut self, server: ServerId, inventory: SessionInventory) {
-        let age = inventory.age_ms.saturating_mul(MILLISECOND);
-        let started_at = clock::now().as_nanos().saturating_sub(age);
+        let started_at = clock::now() - Duration::from_millis(inventory.age_ms);
         if let (Some(state), Some(incarnation)) =
             (self.servers.get_mut(&server), inventory.boots.last())
         {
@@ -128,7 +129,7 @@
         });
         tracing::info!(
             server_id = server.0,
-            age_ms = (clock::now().as_nanos() - started_at) / MILLISECOND,
+            age_ms = milliseconds(clock::now().duration_since(started_at)),
             resolutions = ?outcome.resolutions,
             "session inventory received"
         );
@@ -141,13 +142,13 @@
 
     /// A server whose first inventory comes after service resumed was taken for one that has just started; it
     /// may have started even later than that.
-    fn record_server_start(&mut self, server: ServerId, started_at: u64) {
+    fn record_server_start(&mut self, server: ServerId, started_at: Time) {
         let Some(durable) = &mut self.durable else {
             return;
         };
         let is_first = durable.server_starts.insert(server, started_at).is_none();
         if is_first && !durable.is_reconciling() {
-            self.server_started(server, started_at);
+            self.server_started(server, started_at.as_nanos());
         }
     }
 
@@ -190,24 +191,11 @@
 
     /// A set-up ran, or may have: its key is spent. It is written even where the ledger had no entry of it.
     fn resolve_key(&mut self, key: &Key, outcome: IntentOutcome, request_outcome: RequestOutcome) {
-        let retention_ms = self.shared.config.terms.key_retention / MILLISECOND;
         let Some(durable) = &mut self.durable else {
             return;
         };
-        let uptime_ms = durable.uptime_ms();
-        let write = if durable.ledger.get(key).is_some() {
-            durable.ledger.set_outcome(key, outcome, uptime_ms)
-        } else {
-            let intent = Intent {
-                class: String::new(),
-                server: 0,
-                attempt_name: String::new(),
-                server_incarnation: String::new(),
-                outcome,
-                retained_until: uptime_ms.saturating_add(retention_ms),
-            };
-            Some(durable.ledger.insert_recovered(key.clone(), intent))
-        };
+        let uptime = durable.uptime();
+        let write = durable.ledger.resolve(key, outcome, uptime);
         durable.write(write);
         self.key_resolved(key, "", Some(request_outcome));
     }
@@ -233,7 +221,7 @@
             return;
         };
         let server_starts = durable.server_starts.clone();
-        let now = Time(clock::now().as_nanos());
+        let now = clock::now();
         for DeferredList {
             kind,
             mut endpoints,
@@ -243,7 +231,7 @@
                 // Why: after a power loss each server is warming up, while a cached list says that it started
                 // long ago. So a server without an inventory counts as started now. The cost: a warmed-up
                 // server out of reach starts slowly.
-                let reported = server_starts.get(&endpoint.server).copied().map(Time);
+                let reported = server_starts.get(&endpoint.server).copied();
                 endpoint.started_at = reported.unwrap_or(endpoint.started_at.max(now));
             }
             self.handle_core_input(Input::EndpointList(kind, endpoints));
--- a/crates/daemon/src/event_loop/session_adoption.rs
+++ b/crates/daemon/src/event_loop/session_adoption.rs
@@ -4,6 +4,7 @@
 use crate::config_lookup::{index_of, is_paid_class, tenant_index};
 use crankpaddle_front::{AttemptId, Input, OpenRequest, ServerId, SessionUpdate, SetUpOrder};
 use crankpaddle_net::clock;
+use crankpaddle_recovery::intents::RETAINED_WHILE_ACTIVE;
 use crankpaddle_recovery::reconciliation::InventorySession;
 use crankpaddle_recovery::{Intent, IntentOutcome};
 use std::sync::Arc;
@@ -151,7 +152,7 @@
             attempt_name: session.name.clone(),
             server_incarnation,
             outcome: IntentOutcome::Established,
-            retained_until: u64::MAX, // Until it ends.
+            retained_until: RETAINED_WHILE_ACTIVE,
         };
         let write = durable.ledger.insert_recovered(session.key.clone(), intent);
         durable.write([write]);
--- a/crates/daemon/src/event_loop/status.rs
+++ b/crates/daemon/src/event_loop/status.rs
@@ -1,9 +1,10 @@
 //! The reply to `GET /fleet`: the state of the store and of recovery.
 use super::durable_state::DurableState;
-use super::{EventLoop, MILLISECOND};
+use super::EventLoop;
 use crankpaddle_api::describe::{Fleet, ReturnStep, ServiceStage, StepReason, StoreState};
 use crankpaddle_front::{RecoveryStage, StageEvidence};
 use crankpaddle_net::clock;
+use crankpaddle_recovery::intents::milliseconds;
 
 impl EventLoop {
     /// The status; `None` where no store is configured.
@@ -27,12 +28,12 @@
     }
 
     fn recovery_steps(&self) -> Vec<ReturnStep> {
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         let transitions = self.core.recovery().transitions().iter();
         let step = transitions.map(|transition| ReturnStep {
             stage: service_stage(transition.stage),
             why: step_reason(transition.evidence),
-            ago_ms: now.saturating_sub(transition.at) / MILLISECOND,
+            ago_ms: milliseconds(now.duration_since(transition.at)),
         });
         step.collect()
     }
--- a/crates/daemon/src/recovered_state.rs
+++ b/crates/daemon/src/recovered_state.rs
@@ -5,6 +5,7 @@
 use crankpaddle_recovery::{ConservativeBound, PreviousShutdown, RecoveredState, StillValid};
 use crankpaddle_server_protocol::sessions;
 use crankpaddle_store::{Error, OpenedStore, Store};
+use std::time::Duration;
 
 /// An opened store, and what it held.
 pub(crate) struct OpenedState {
@@ -99,7 +100,7 @@
         intents: StillValid(Vec::new()),
         fleet_size: ConservativeBound::default(),
         shutdown: PreviousShutdown::Unknown,
-        uptime_ms: StillValid(0),
+        uptime: StillValid(Duration::ZERO),
     }
 }
 
--- a/crates/front/src/core/actions.rs
+++ b/crates/front/src/core/actions.rs
@@ -5,6 +5,7 @@
 use crate::timers::TimerEntry;
 use crankpaddle::{Action, AttemptOutcome, LoadReport, RequestId};
 use crankpaddle_recovery::RecoveryStage;
+use std::time::Duration;
 
 impl Core {
     /// Passes the queued events to the policy and carries its actions out, until nothing is left of either.
@@ -66,7 +67,8 @@
         let class = self.requests.get(&id).map(|request| request.session.class);
         if self.stage() == RecoveryStage::PaidOnly && class.is_some_and(|class| self.is_paid(class))
         {
-            self.staged_recovery.paid_rejected(self.now.0, retry_after);
+            self.staged_recovery
+                .paid_rejected(self.now, Duration::from_nanos(retry_after));
         }
         let reason = if class.is_some_and(|class| self.is_cross_zone_forbidden(class)) {
             RejectReason::CrossZoneForbidden
--- a/crates/front/src/core/mod.rs
+++ b/crates/front/src/core/mod.rs
@@ -113,7 +113,7 @@
             replica_count: settings.replica_count,
             known_fronts: 0,
             previous_fronts: ConservativeBound::default(),
-            staged_recovery: StagedRecovery::not_needed(now.0),
+            staged_recovery: StagedRecovery::not_needed(now),
             reported_transitions: 0,
             intents_complete: true,
             unresolved_keys: BTreeSet::new(),
--- a/crates/front/src/core/startup_recovery.rs
+++ b/crates/front/src/core/startup_recovery.rs
@@ -7,8 +7,9 @@
 use crate::overload::AdmissionDecision;
 use crate::recovery_queue::{OpenCall, QueuedOpen};
 use crate::timers::TimerEntry;
-use crankpaddle::{Event, Time};
-use crankpaddle_recovery::{Admission, ConservativeBound, RecoveryStage, StagedRecovery};
+use crankpaddle::Event;
+use crankpaddle_recovery::{ConservativeBound, RecoveryAdmission, RecoveryStage, StagedRecovery};
+use crankpaddle_time::nanoseconds;
 
 /// What becomes of an open while the front recovers.
 pub(super) enum RecoveryDecision {
@@ -61,12 +62,12 @@
     }
 
     pub(super) fn endpoints_known(&mut self, out: &mut Vec<Output>) {
-        self.staged_recovery.endpoints_known(self.now.0);
+        self.staged_recovery.endpoints_known(self.now);
         self.advance_recovery(out);
     }
 
     pub(super) fn reconciliation_completed(&mut self, out: &mut Vec<Output>) {
-        self.staged_recovery.reconciliation_completed(self.now.0);
+        self.staged_recovery.reconciliation_completed(self.now);
         self.advance_recovery(out);
     }
 
@@ -92,7 +93,7 @@
 
     /// Advances the staged recovery as far as it is due, and reports the stages that it reached.
     pub(super) fn advance_recovery(&mut self, out: &mut Vec<Output>) {
-        self.staged_recovery.expire(self.now.0);
+        self.staged_recovery.expire(self.now);
         self.set_stage_timer();
         let transitions = self.staged_recovery.transitions();
         for transition in &transitions[self.reported_transitions..] {
@@ -105,7 +106,7 @@
 
     fn set_stage_timer(&mut self) {
         if let Some(at) = self.staged_recovery.next_expiry() {
-            self.timers.set(Time(at), TimerEntry::RecoveryStage);
+            self.timers.set(at, TimerEntry::RecoveryStage);
         }
     }
 
@@ -122,17 +123,17 @@
     /// Decides on an open while the front recovers.
     pub(super) fn admit_during_recovery(&mut self, opening: &OpenCall) -> RecoveryDecision {
         let is_paid = self.is_paid(opening.open.class);
-        match self.staged_recovery.admit(self.now.0, is_paid) {
-            Admission::Serve => RecoveryDecision::Serve,
-            Admission::Queue => self.queue_for_recovery(opening),
-            Admission::RetryLater { after, over } => {
+        match self.staged_recovery.admit(self.now, is_paid) {
+            RecoveryAdmission::Serve => RecoveryDecision::Serve,
+            RecoveryAdmission::Queue => self.queue_for_recovery(opening),
+            RecoveryAdmission::RetryLater { after, over } => {
                 if self.keys.contains_key(&SessionKey::from(&opening.open)) {
                     // What plays is reattached, and what ran is answered as such.
                     return RecoveryDecision::Serve;
                 }
                 let jitter = jitter(opening.call.player.0.rotate_left(32) ^ opening.call.number);
-                let retry_after = after
-                    .saturating_add((over as f64 * jitter) as u64)
+                let retry_after = nanoseconds(after)
+                    .saturating_add((nanoseconds(over) as f64 * jitter) as u64)
                     .min(self.settings.max_retry_after);
                 RecoveryDecision::Answered(self.not_served(&opening.open, retry_after))
             }
--- a/crates/front/tests/startup_recovery.rs
+++ b/crates/front/tests/startup_recovery.rs
@@ -4,6 +4,7 @@
 use common::*;
 use crankpaddle_front::keys::RequestOutcome;
 use crankpaddle_front::*;
+use std::time::Duration;
 
 struct Harness {
     core: Core,
@@ -26,14 +27,14 @@
         max_retained_keys: 100,
     };
     let timeouts = crankpaddle_recovery::StageTimeouts {
-        reconciliation_timeout: 3 * SECOND,
-        paid_quiet_period: SECOND,
-        paid_only_timeout: 10 * SECOND,
-        warm_up_duration: 10 * SECOND,
+        reconciliation_timeout: Duration::from_nanos(3 * SECOND),
+        paid_quiet_period: Duration::from_nanos(SECOND),
+        paid_only_timeout: Duration::from_nanos(10 * SECOND),
+        warm_up_duration: Duration::from_nanos(10 * SECOND),
     };
     let mut core = Core::new(settings(), config, 7, Time(now));
-    let mut staged_recovery = StagedRecovery::new(timeouts, now);
-    staged_recovery.state_read(now, previous_shutdown);
+    let mut staged_recovery = StagedRecovery::new(timeouts, Time(now));
+    staged_recovery.state_read(Time(now), previous_shutdown);
     core.begin_recovery(
         staged_recovery,
         previous_shutdown != PreviousShutdown::Unknown,
--- a/crates/recovery/src/intents.rs
+++ b/crates/recovery/src/intents.rs
@@ -7,9 +7,16 @@
 use crate::power_loss_policy::StateKind;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
-/// The retention deadline of an entry whose attempt is active: it is never pruned.
-const RETAINED_WHILE_ACTIVE: u64 = u64::MAX;
+/// [`Intent::retained_until`] of an entry whose attempt is active: it is never pruned.
+pub const RETAINED_WHILE_ACTIVE: u64 = u64::MAX;
+
+/// Whole milliseconds of a duration, the unit of stored durations; `u64::MAX` if there are more.
+#[must_use]
+pub fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
 
 /// A paid session as billing identifies it. Names are used, since the numbers of tenants change with the configuration.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -74,8 +81,8 @@
     Remove(Key),
     /// Sets the number of fronts in the fleet.
     FleetSize(u32),
-    /// Sets the accumulated uptime of all incarnations, in milliseconds.
-    Uptime(u64),
+    /// Sets the accumulated uptime of all incarnations. Whole milliseconds of it are stored.
+    Uptime(Duration),
     /// Marks this incarnation as ended by a graceful shutdown.
     CleanShutdown,
 }
@@ -114,17 +121,17 @@
     active_attempts: BTreeMap<String, Key>,
     /// Keys that ended, ordered by [`Intent::retained_until`].
     pruning_order: BTreeSet<(u64, Key)>,
-    /// How long an ended key is retained, in milliseconds of uptime.
-    retention_ms: u64,
+    /// How long an ended key is retained, in uptime of the front.
+    retention: Duration,
     max_ended: usize,
 }
 
 impl IntentLedger {
-    /// A ledger that starts with `recovered` entries. Ended keys are retained for `retention_ms` milliseconds of uptime, and
-    /// `max_ended` of them at most.
-    pub fn new(retention_ms: u64, max_ended: usize, recovered: &[(Key, Intent)]) -> IntentLedger {
+    /// A ledger that starts with `recovered` entries. Ended keys are retained for `retention` of uptime, and `max_ended` of
+    /// them at most.
+    pub fn new(retention: Duration, max_ended: usize, recovered: &[(Key, Intent)]) -> IntentLedger {
         let mut ledger = IntentLedger {
-            retention_ms,
+            retention,
             max_ended,
             ..IntentLedger::default()
         };
@@ -201,13 +208,13 @@
         self.insert_and_persist(key, intent)
     }
 
-    /// Records the result of the attempt of this name; `uptime_ms` is the accumulated uptime of all incarnations. Returns `None` if
+    /// Records the result of the attempt of this name; `uptime` is the accumulated uptime of all incarnations. Returns `None` if
     /// the attempt is not active here, or nothing changed.
     pub fn attempt_ended(
         &mut self,
         attempt_name: &str,
         result: AttemptResult,
-        uptime_ms: u64,
+        uptime: Duration,
     ) -> Option<StoreWrite> {
         let key = self.active_attempts.get(attempt_name)?.clone();
         let outcome = match result {
@@ -216,7 +223,7 @@
             AttemptResult::Ended if self.is_established(&key) => IntentOutcome::Completed,
             AttemptResult::Ended => IntentOutcome::Failed,
         };
-        self.set_outcome(&key, outcome, uptime_ms)
+        self.set_outcome(&key, outcome, uptime)
     }
 
     fn is_established(&self, key: &Key) -> bool {
@@ -230,7 +237,7 @@
         &mut self,
         key: &Key,
         outcome: IntentOutcome,
-        uptime_ms: u64,
+        uptime: Duration,
     ) -> Option<StoreWrite> {
         let previous = self.entries.get(key)?;
         if previous.outcome == outcome {
@@ -239,7 +246,7 @@
         let retained_until = if outcome.is_active() {
             RETAINED_WHILE_ACTIVE
         } else {
-            uptime_ms.saturating_add(self.retention_ms)
+            self.retained_until(uptime)
         };
         let intent = Intent {
             outcome,
@@ -249,6 +256,33 @@
         Some(self.insert_and_persist(key.clone(), intent))
     }
 
+    /// Sets the outcome of a key that ran or may have run, as a server's inventory showed; the entry is created if this ledger lacks
+    /// the key. Returns `None` if nothing changed.
+    pub fn resolve(
+        &mut self,
+        key: &Key,
+        outcome: IntentOutcome,
+        uptime: Duration,
+    ) -> Option<StoreWrite> {
+        if self.entries.contains_key(key) {
+            return self.set_outcome(key, outcome, uptime);
+        }
+        let intent = Intent {
+            class: String::new(),
+            server: 0,
+            attempt_name: String::new(),
+            server_incarnation: String::new(),
+            outcome,
+            retained_until: self.retained_until(uptime),
+        };
+        Some(self.insert_recovered(key.clone(), intent))
+    }
+
+    /// [`Intent::retained_until`] of a key that ended at this uptime.
+    fn retained_until(&self, uptime: Duration) -> u64 {
+        milliseconds(uptime).saturating_add(milliseconds(self.retention))
+    }
+
     /// Inserts a key that a server's inventory lists and this ledger lacks.
     #[must_use]
     pub fn insert_recovered(&mut self, key: Key, intent: Intent) -> StoreWrite {
@@ -264,13 +298,13 @@
     /// Removes ended keys whose retention is over or that are too many, the oldest first; `limit` of them at most, so that no call
     /// takes long.
     #[must_use]
-    pub fn prune(&mut self, uptime_ms: u64, limit: usize) -> Vec<StoreWrite> {
+    pub fn prune(&mut self, uptime: Duration, limit: usize) -> Vec<StoreWrite> {
         let mut writes = Vec::new();
         while writes.len() < limit {
             let Some((retained_until, key)) = self.pruning_order.first().cloned() else {
                 break;
             };
-            if retained_until > uptime_ms && self.pruning_order.len() <= self.max_ended {
+            if retained_until > milliseconds(uptime) && self.pruning_order.len() <= self.max_ended {
                 break;
             }
             self.remove(&key);
--- a/crates/recovery/src/intents/tests.rs
+++ b/crates/recovery/src/intents/tests.rs
@@ -13,18 +13,18 @@
 
 #[test]
 fn an_attempt_that_never_ran_is_removed_and_one_that_may_have_run_is_retained() {
-    let mut ledger = IntentLedger::new(1000, 10, &[]);
+    let mut ledger = IntentLedger::new(Duration::from_millis(1000), 10, &[]);
     assert_eq!(
         begin_attempt(&mut ledger, 1).state_kind(),
         StateKind::Intent
     );
     assert_eq!(
-        ledger.attempt_ended("name-1", AttemptResult::NeverRan, 0),
+        ledger.attempt_ended("name-1", AttemptResult::NeverRan, Duration::ZERO),
         Some(StoreWrite::Remove(key(1)))
     );
     assert!(ledger.is_empty());
     begin_attempt(&mut ledger, 2);
-    ledger.attempt_ended("name-2", AttemptResult::Ended, 50);
+    ledger.attempt_ended("name-2", AttemptResult::Ended, Duration::from_millis(50));
     assert_eq!(
         ledger
             .get(&key(2))
@@ -32,7 +32,7 @@
         Some((IntentOutcome::Failed, 1050))
     );
     assert_eq!(
-        ledger.attempt_ended("name-2", AttemptResult::NeverRan, 60),
+        ledger.attempt_ended("name-2", AttemptResult::NeverRan, Duration::from_millis(60)),
         None,
         "a late result does not change a failure"
     );
@@ -40,27 +40,38 @@
 
 #[test]
 fn active_attempts_are_never_pruned_and_ended_ones_by_age_and_number() {
-    let mut ledger = IntentLedger::new(1000, 2, &[]);
+    let mut ledger = IntentLedger::new(Duration::from_millis(1000), 2, &[]);
     for n in 0..6 {
         begin_attempt(&mut ledger, n);
     }
     for n in 2..6u32 {
-        ledger.attempt_ended(&format!("name-{n}"), AttemptResult::Established, 0);
-        ledger.attempt_ended(&format!("name-{n}"), AttemptResult::Ended, u64::from(n));
+        ledger.attempt_ended(
+            &format!("name-{n}"),
+            AttemptResult::Established,
+            Duration::from_millis(0),
+        );
+        ledger.attempt_ended(
+            &format!("name-{n}"),
+            AttemptResult::Ended,
+            Duration::from_millis(u64::from(n)),
+        );
     }
     assert_eq!(
-        ledger.prune(5, 1),
+        ledger.prune(Duration::from_millis(5), 1),
         [StoreWrite::Remove(key(2))],
         "one at a time"
     );
     assert_eq!(
-        ledger.prune(5, 100),
+        ledger.prune(Duration::from_millis(5), 100),
         [StoreWrite::Remove(key(3))],
         "two are retained"
     );
-    assert_eq!(ledger.prune(1004, 100), [StoreWrite::Remove(key(4))]);
     assert_eq!(
-        ledger.prune(u64::MAX - 1, 100),
+        ledger.prune(Duration::from_millis(1004), 100),
+        [StoreWrite::Remove(key(4))]
+    );
+    assert_eq!(
+        ledger.prune(Duration::from_millis(u64::MAX - 1), 100),
         [StoreWrite::Remove(key(5))]
     );
     assert_eq!(ledger.len(), 2, "two are in flight");
@@ -68,15 +79,15 @@
 
 #[test]
 fn no_discarded_state_is_ever_written() {
-    let mut ledger = IntentLedger::new(1, 1, &[]);
+    let mut ledger = IntentLedger::new(Duration::from_millis(1), 1, &[]);
     let mut writes = vec![
         begin_attempt(&mut ledger, 1),
         StoreWrite::FleetSize(3),
-        StoreWrite::Uptime(1),
+        StoreWrite::Uptime(Duration::from_millis(1)),
         StoreWrite::CleanShutdown,
     ];
-    writes.extend(ledger.attempt_ended("name-1", AttemptResult::Ended, 0));
-    writes.extend(ledger.prune(u64::MAX, 9));
+    writes.extend(ledger.attempt_ended("name-1", AttemptResult::Ended, Duration::ZERO));
+    writes.extend(ledger.prune(Duration::from_millis(u64::MAX), 9));
     assert_eq!(writes.len(), 6);
     assert!(writes
         .iter()
@@ -85,7 +96,7 @@
 
 #[test]
 fn a_ledger_continues_from_the_recovered_entries() {
-    let mut first = IntentLedger::new(1000, 10, &[]);
+    let mut first = IntentLedger::new(Duration::from_millis(1000), 10, &[]);
     let writes = [begin_attempt(&mut first, 1), begin_attempt(&mut first, 2)];
     let recovered: Vec<(Key, Intent)> = writes
         .into_iter()
@@ -94,10 +105,14 @@
             _ => None,
         })
         .collect();
-    let mut second = IntentLedger::new(1000, 10, &recovered);
+    let mut second = IntentLedger::new(Duration::from_millis(1000), 10, &recovered);
     assert_eq!(
         second
-            .attempt_ended("name-2", AttemptResult::Established, 0)
+            .attempt_ended(
+                "name-2",
+                AttemptResult::Established,
+                Duration::from_millis(0)
+            )
             .map(|write| write.state_kind()),
         Some(StateKind::IntentOutcome)
     );
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -28,6 +28,5 @@
 };
 pub use recovered_state::{PreviousShutdown, RecoveredState};
 pub use stages::{
-    RecoveryAdmission as Admission, RecoveryStage, StageEvidence, StageTimeouts, StageTransition,
-    StagedRecovery,
+    RecoveryAdmission, RecoveryStage, StageEvidence, StageTimeouts, StageTransition, StagedRecovery,
 };
--- a/crates/recovery/src/recovered_state.rs
+++ b/crates/recovery/src/recovered_state.rs
@@ -1,6 +1,7 @@
 //! The state that a front starts from.
 use crate::intents::{Intent, Key};
 use crate::power_loss_policy::{ConservativeBound, StillValid};
+use std::time::Duration;
 
 /// How the previous incarnation of the front ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,6 +27,6 @@
     pub fleet_size: ConservativeBound<u32>,
     /// How the previous incarnation ended.
     pub shutdown: PreviousShutdown,
-    /// The accumulated uptime of all incarnations, as far as it was persisted, in milliseconds.
-    pub uptime_ms: StillValid<u64>,
+    /// The accumulated uptime of all incarnations, as far as it was persisted.
+    pub uptime: StillValid<Duration>,
 }
--- a/crates/recovery/src/stages.rs
+++ b/crates/recovery/src/stages.rs
@@ -10,6 +10,8 @@
 //!
 //! After a graceful shutdown none of this is needed, and a front is normal at once.
 use crate::recovered_state::PreviousShutdown;
+use crankpaddle_time::Time;
+use std::time::Duration;
 
 /// How far service has returned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -28,17 +30,17 @@
     Normal,
 }
 
-/// Time limits of the stages, in nanoseconds.
+/// Time limits of the stages.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StageTimeouts {
     /// How long listed servers have to answer the reconciliation.
-    pub reconciliation_timeout: u64,
+    pub reconciliation_timeout: Duration,
     /// Paid classes are served alone until none of their requests was rejected for this long ...
-    pub paid_quiet_period: u64,
+    pub paid_quiet_period: Duration,
     /// ... but no longer than this.
-    pub paid_only_timeout: u64,
+    pub paid_only_timeout: Duration,
     /// How long a server takes to warm up.
-    pub warm_up_duration: u64,
+    pub warm_up_duration: Duration,
 }
 
 /// Why a stage was entered.
@@ -65,8 +67,8 @@
 /// An entered stage.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StageTransition {
-    /// When it was entered, in nanoseconds of the caller's clock.
-    pub at: u64,
+    /// When it was entered.
+    pub at: Time,
     /// The stage.
     pub stage: RecoveryStage,
     /// Why it was entered.
@@ -80,32 +82,32 @@
     Serve,
     /// Queue it: the decision will be possible soon.
     Queue,
-    /// Reject it; it may be retried `after` nanoseconds, spread over a further `over`.
+    /// Reject it; it may be retried later.
     RetryLater {
-        /// Nanoseconds until the first retry.
-        after: u64,
-        /// Nanoseconds over which retries are spread.
-        over: u64,
+        /// The time until the first retry.
+        after: Duration,
+        /// The time over which retries are spread after that.
+        over: Duration,
     },
 }
 
-/// The staged return of service after a start. All times are nanoseconds of the caller's clock.
+/// The staged return of service after a start. All times are points on the caller's clock.
 #[derive(Clone, Debug)]
 pub struct StagedRecovery {
     timeouts: StageTimeouts,
     stage: RecoveryStage,
-    stage_entered_at: u64,
+    stage_entered_at: Time,
     /// When servers were first listed.
-    endpoints_known_at: Option<u64>,
+    endpoints_known_at: Option<Time>,
     /// The latest time at which a rejected paid request may be retried.
-    paid_retry_expected_at: Option<u64>,
+    paid_retry_expected_at: Option<Time>,
     reconciliation_completed: bool,
     transitions: Vec<StageTransition>,
 }
 
 impl StagedRecovery {
     /// A front that starts at `now`.
-    pub fn new(timeouts: StageTimeouts, now: u64) -> StagedRecovery {
+    pub fn new(timeouts: StageTimeouts, now: Time) -> StagedRecovery {
         let started = StageTransition {
             at: now,
             stage: RecoveryStage::Offline,
@@ -123,12 +125,12 @@
     }
 
     /// A front without a store: there is no state to recover, and it is normal at once.
-    pub fn not_needed(now: u64) -> StagedRecovery {
+    pub fn not_needed(now: Time) -> StagedRecovery {
         let timeouts = StageTimeouts {
-            reconciliation_timeout: 0,
-            paid_quiet_period: 0,
-            paid_only_timeout: 0,
-            warm_up_duration: 0,
+            reconciliation_timeout: Duration::ZERO,
+            paid_quiet_period: Duration::ZERO,
+            paid_only_timeout: Duration::ZERO,
+            warm_up_duration: Duration::ZERO,
         };
         let mut recovery = StagedRecovery::new(timeouts, now);
         recovery.enter(now, RecoveryStage::Normal, StageEvidence::CleanShutdown);
@@ -148,7 +150,7 @@
     }
 
     /// Enters a later stage; an earlier one or the present one is ignored.
-    fn enter(&mut self, now: u64, stage: RecoveryStage, evidence: StageEvidence) {
+    fn enter(&mut self, now: Time, stage: RecoveryStage, evidence: StageEvidence) {
         if stage <= self.stage {
             return;
         }
@@ -162,12 +164,12 @@
     }
 
     /// Reading the persisted state begins.
-    pub fn start_reading(&mut self, now: u64) {
+    pub fn start_reading(&mut self, now: Time) {
         self.enter(now, RecoveryStage::Reading, StageEvidence::DiskAvailable);
     }
 
     /// The persisted state is read; the previous incarnation ended by `previous_shutdown`.
-    pub fn state_read(&mut self, now: u64, previous_shutdown: PreviousShutdown) {
+    pub fn state_read(&mut self, now: Time, previous_shutdown: PreviousShutdown) {
         match previous_shutdown {
             PreviousShutdown::Clean => {
                 self.enter(now, RecoveryStage::Normal, StageEvidence::CleanShutdown);
@@ -179,30 +181,30 @@
     }
 
     /// Servers are listed, so that they can be queried.
-    pub fn endpoints_known(&mut self, now: u64) {
+    pub fn endpoints_known(&mut self, now: Time) {
         self.endpoints_known_at.get_or_insert(now);
         self.expire(now);
     }
 
     /// Each listed server sent its inventory or is unreachable.
-    pub fn reconciliation_completed(&mut self, now: u64) {
+    pub fn reconciliation_completed(&mut self, now: Time) {
         self.reconciliation_completed = true;
         self.expire(now);
     }
 
-    /// A paid request was rejected for lack of capacity, and its viewer was asked to retry after `retry_after` nanoseconds.
+    /// A paid request was rejected for lack of capacity, and its viewer was asked to retry after `retry_after`.
     ///
     /// Why the quiet period starts at the latest expected retry: a viewer who waits for a retry sends nothing meanwhile. A quiet
     /// period that counted requests alone would end while such viewers wait, and free sessions would then take the admission slots at
     /// warming servers that the paid ones need.
-    pub fn paid_rejected(&mut self, now: u64, retry_after: u64) {
-        let retry_expected_at = now.saturating_add(retry_after);
+    pub fn paid_rejected(&mut self, now: Time, retry_after: Duration) {
+        let retry_expected_at = now + retry_after;
         self.paid_retry_expected_at = self.paid_retry_expected_at.max(Some(retry_expected_at));
     }
 
     /// When [`StagedRecovery::expire`] is to be called next; `None`: never.
     #[must_use]
-    pub fn next_expiry(&self) -> Option<u64> {
+    pub fn next_expiry(&self) -> Option<Time> {
         match self.stage {
             RecoveryStage::Reconciling => self
                 .endpoints_known_at
@@ -213,36 +215,32 @@
         }
     }
 
-    fn reconciliation_deadline(&self, endpoints_known_at: u64) -> u64 {
-        endpoints_known_at.saturating_add(self.timeouts.reconciliation_timeout)
+    fn reconciliation_deadline(&self, endpoints_known_at: Time) -> Time {
+        endpoints_known_at + self.timeouts.reconciliation_timeout
     }
 
     /// When no paid request was rejected for the quiet period.
-    fn paid_quiet_at(&self) -> u64 {
-        self.paid_retry_expected_at
-            .unwrap_or(0)
-            .max(self.stage_entered_at)
-            .saturating_add(self.timeouts.paid_quiet_period)
+    fn paid_quiet_at(&self) -> Time {
+        let last_retry_expected_at = self.paid_retry_expected_at.unwrap_or(Time::ZERO);
+        last_retry_expected_at.max(self.stage_entered_at) + self.timeouts.paid_quiet_period
     }
 
-    fn paid_only_deadline(&self) -> u64 {
-        self.stage_entered_at
-            .saturating_add(self.timeouts.paid_only_timeout)
+    fn paid_only_deadline(&self) -> Time {
+        self.stage_entered_at + self.timeouts.paid_only_timeout
     }
 
-    fn warmed_up_at(&self) -> u64 {
-        self.stage_entered_at
-            .saturating_add(self.timeouts.warm_up_duration)
+    fn warmed_up_at(&self) -> Time {
+        self.stage_entered_at + self.timeouts.warm_up_duration
     }
 
     /// Makes the transitions that are due. Several may be due at once.
-    pub fn expire(&mut self, now: u64) {
+    pub fn expire(&mut self, now: Time) {
         self.finish_reconciling(now);
         self.finish_paid_only(now);
         self.finish_all_classes(now);
     }
 
-    fn finish_reconciling(&mut self, now: u64) {
+    fn finish_reconciling(&mut self, now: Time) {
         if self.stage != RecoveryStage::Reconciling {
             return;
         }
@@ -259,7 +257,7 @@
         self.enter(now, RecoveryStage::PaidOnly, evidence);
     }
 
-    fn finish_paid_only(&mut self, now: u64) {
+    fn finish_paid_only(&mut self, now: Time) {
         if self.stage != RecoveryStage::PaidOnly {
             return;
         }
@@ -273,7 +271,7 @@
         self.enter(now, RecoveryStage::AllClasses, evidence);
     }
 
-    fn finish_all_classes(&mut self, now: u64) {
+    fn finish_all_classes(&mut self, now: Time) {
         if self.stage == RecoveryStage::AllClasses && now >= self.warmed_up_at() {
             self.enter(now, RecoveryStage::Normal, StageEvidence::WarmedUp);
         }
@@ -281,12 +279,12 @@
 
     /// What to do with a request. While no server is known there is nothing to wait for, and it is asked to retry later.
     #[must_use]
-    pub fn admit(&self, now: u64, paid: bool) -> RecoveryAdmission {
+    pub fn admit(&self, now: Time, paid: bool) -> RecoveryAdmission {
         match self.stage {
             RecoveryStage::Offline | RecoveryStage::Reading => RecoveryAdmission::Queue,
             RecoveryStage::Reconciling => self.admit_while_reconciling(now),
             RecoveryStage::PaidOnly if !paid => RecoveryAdmission::RetryLater {
-                after: self.paid_only_deadline().saturating_sub(now),
+                after: self.paid_only_deadline().duration_since(now),
                 over: self.timeouts.warm_up_duration,
             },
             RecoveryStage::PaidOnly | RecoveryStage::AllClasses | RecoveryStage::Normal => {
@@ -295,9 +293,9 @@
         }
     }
 
-    fn admit_while_reconciling(&self, now: u64) -> RecoveryAdmission {
+    fn admit_while_reconciling(&self, now: Time) -> RecoveryAdmission {
         let timeout = self.timeouts.reconciliation_timeout;
-        let waiting_ends_at = self.stage_entered_at.saturating_add(timeout);
+        let waiting_ends_at = self.stage_entered_at + timeout;
         if self.endpoints_known_at.is_some() || now < waiting_ends_at {
             return RecoveryAdmission::Queue;
         }
--- a/crates/recovery/src/stages/tests.rs
+++ b/crates/recovery/src/stages/tests.rs
@@ -2,25 +2,25 @@
 use proptest::prelude::*;
 
 const TIMEOUTS: StageTimeouts = StageTimeouts {
-    reconciliation_timeout: 100,
-    paid_quiet_period: 20,
-    paid_only_timeout: 300,
-    warm_up_duration: 1000,
+    reconciliation_timeout: Duration::from_nanos(100),
+    paid_quiet_period: Duration::from_nanos(20),
+    paid_only_timeout: Duration::from_nanos(300),
+    warm_up_duration: Duration::from_nanos(1000),
 };
 
 /// A recovery after a power loss that has reached this stage.
 fn recovery_in(stage: RecoveryStage) -> StagedRecovery {
-    let mut recovery = StagedRecovery::new(TIMEOUTS, 0);
-    recovery.start_reading(1);
-    recovery.state_read(2, PreviousShutdown::PowerLost);
+    let mut recovery = StagedRecovery::new(TIMEOUTS, Time(0));
+    recovery.start_reading(Time(1));
+    recovery.state_read(Time(2), PreviousShutdown::PowerLost);
     if stage > RecoveryStage::Reconciling {
-        recovery.endpoints_known(3);
-        recovery.reconciliation_completed(4);
+        recovery.endpoints_known(Time(3));
+        recovery.reconciliation_completed(Time(4));
     }
     recovery
 }
 
-fn transition(at: u64, stage: RecoveryStage, evidence: StageEvidence) -> StageTransition {
+fn transition(at: Time, stage: RecoveryStage, evidence: StageEvidence) -> StageTransition {
     StageTransition {
         at,
         stage,
@@ -30,65 +30,71 @@
 
 #[test]
 fn after_a_graceful_shutdown_service_is_normal_at_once() {
-    let mut recovery = StagedRecovery::new(TIMEOUTS, 0);
-    recovery.state_read(1, PreviousShutdown::Clean);
+    let mut recovery = StagedRecovery::new(TIMEOUTS, Time(0));
+    recovery.state_read(Time(1), PreviousShutdown::Clean);
     assert_eq!(
         (
             recovery.stage(),
             recovery.next_expiry(),
-            recovery.admit(1, false)
+            recovery.admit(Time(1), false)
         ),
         (RecoveryStage::Normal, None, RecoveryAdmission::Serve)
     );
-    assert_eq!(StagedRecovery::not_needed(5).stage(), RecoveryStage::Normal);
+    assert_eq!(
+        StagedRecovery::not_needed(Time(5)).stage(),
+        RecoveryStage::Normal
+    );
 }
 
 #[test]
 fn all_requests_queue_until_reconciled_and_then_paid_ones_are_served_first() {
     let mut recovery = recovery_in(RecoveryStage::Reconciling);
     assert_eq!(
-        (recovery.admit(3, true), recovery.admit(3, false)),
+        (
+            recovery.admit(Time(3), true),
+            recovery.admit(Time(3), false)
+        ),
         (RecoveryAdmission::Queue, RecoveryAdmission::Queue)
     );
-    recovery.reconciliation_completed(3);
+    recovery.reconciliation_completed(Time(3));
     assert_eq!(
         recovery.stage(),
         RecoveryStage::Reconciling,
         "no server is listed yet, so none was queried"
     );
-    recovery.endpoints_known(5);
+    recovery.endpoints_known(Time(5));
     assert_eq!(
-        (recovery.stage(), recovery.admit(5, true)),
+        (recovery.stage(), recovery.admit(Time(5), true)),
         (RecoveryStage::PaidOnly, RecoveryAdmission::Serve)
     );
     assert_eq!(
-        recovery.admit(5, false),
+        recovery.admit(Time(5), false),
         RecoveryAdmission::RetryLater {
-            after: 300,
-            over: 1000
+            after: Duration::from_nanos(300),
+            over: Duration::from_nanos(1000)
         }
     );
-    recovery.paid_rejected(10, 7);
-    recovery.expire(36);
+    recovery.paid_rejected(Time(10), Duration::from_nanos(7));
+    recovery.expire(Time(36));
     assert_eq!(
         recovery.stage(),
         RecoveryStage::PaidOnly,
         "a retry is expected at 17, and the quiet period of 20 ends at 37"
     );
-    recovery.expire(37);
+    recovery.expire(Time(37));
     assert_eq!(
         recovery.transitions().last(),
         Some(&transition(
-            37,
+            Time(37),
             RecoveryStage::AllClasses,
             StageEvidence::PaidDemandServed
         ))
     );
-    recovery.expire(1037);
+    recovery.expire(Time(1037));
     assert_eq!(
         recovery.transitions().last(),
         Some(&transition(
-            1037,
+            Time(1037),
             RecoveryStage::Normal,
             StageEvidence::WarmedUp
         ))
@@ -98,22 +104,22 @@
 #[test]
 fn each_stage_times_out_without_evidence() {
     let mut recovery = recovery_in(RecoveryStage::Reconciling);
-    recovery.endpoints_known(50);
-    assert_eq!(recovery.next_expiry(), Some(150));
-    recovery.expire(149);
+    recovery.endpoints_known(Time(50));
+    assert_eq!(recovery.next_expiry(), Some(Time(150)));
+    recovery.expire(Time(149));
     assert_eq!(recovery.stage(), RecoveryStage::Reconciling);
-    recovery.expire(150);
+    recovery.expire(Time(150));
     assert_eq!(recovery.stage(), RecoveryStage::PaidOnly);
     for now in 150..450 {
-        recovery.paid_rejected(now, 0);
-        recovery.expire(now);
+        recovery.paid_rejected(Time(now), Duration::ZERO);
+        recovery.expire(Time(now));
         assert_eq!(recovery.stage(), RecoveryStage::PaidOnly);
     }
-    recovery.expire(450);
+    recovery.expire(Time(450));
     assert_eq!(
         recovery.transitions().last(),
         Some(&transition(
-            450,
+            Time(450),
             RecoveryStage::AllClasses,
             StageEvidence::TimedOut
         ))
@@ -123,9 +129,9 @@
 #[test]
 fn without_an_endpoint_list_requests_queue_only_for_the_reconciliation_timeout() {
     let recovery = recovery_in(RecoveryStage::Reconciling);
-    assert_eq!(recovery.admit(101, true), RecoveryAdmission::Queue);
+    assert_eq!(recovery.admit(Time(101), true), RecoveryAdmission::Queue);
     assert!(matches!(
-        recovery.admit(102, true),
+        recovery.admit(Time(102), true),
         RecoveryAdmission::RetryLater { .. }
     ));
 }
@@ -135,8 +141,9 @@
     #[test]
     fn stages_only_advance_and_end_in_normal(events in proptest::collection::vec((0u8..5, 0u64..60), 0..80)) {
         let mut recovery = recovery_in(RecoveryStage::Reconciling);
-        let mut now = 2;
+        let mut now = Time(2);
         for (kind, delay) in events {
+            let delay = Duration::from_nanos(delay);
             now += delay;
             let stage_before = recovery.stage();
             match kind {
@@ -151,7 +158,7 @@
         }
         recovery.endpoints_known(now);
         for _ in 0..3 {
-            now += 2000;
+            now += Duration::from_nanos(2000);
             recovery.expire(now);
         }
         prop_assert_eq!(recovery.stage(), RecoveryStage::Normal);
--- a/crates/recovery/tests/crash/front.rs
+++ b/crates/recovery/tests/crash/front.rs
@@ -4,12 +4,13 @@
     SessionInventory, StoreWrite,
 };
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 /// The one server.
 pub(crate) const SERVER: u32 = 7;
 /// The server's one incarnation.
 pub(crate) const SERVER_INCARNATION: &str = "1";
-const RETENTION_MS: u64 = 1000;
+const RETENTION: Duration = Duration::from_millis(1000);
 const MAX_ENDED_KEYS: usize = 10;
 
 /// A guard of the front against selling twice.
@@ -61,7 +62,7 @@
 
 impl Front {
     pub(crate) fn start(recovered: &[(Key, Intent)], guards: Guards) -> Front {
-        let mut ledger = IntentLedger::new(RETENTION_MS, MAX_ENDED_KEYS, recovered);
+        let mut ledger = IntentLedger::new(RETENTION, MAX_ENDED_KEYS, recovered);
         if !guards.has(Guard::ReconcileBeforeServe) {
             // What is in flight is taken for never begun.
             for (key, intent) in recovered {
@@ -128,7 +129,9 @@
 
     fn count_as_run(&mut self, key: Key, guards: Guards) -> Option<StoreWrite> {
         if self.ledger.get(&key).is_some() {
-            return self.ledger.set_outcome(&key, IntentOutcome::Failed, 0);
+            return self
+                .ledger
+                .set_outcome(&key, IntentOutcome::Failed, Duration::ZERO);
         }
         if !guards.has(Guard::CompletedKeysOfServers) {
             return None;
--- a/crates/recovery/tests/crash/model.rs
+++ b/crates/recovery/tests/crash/model.rs
@@ -6,6 +6,7 @@
 };
 use stateright::{Model, Property};
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 /// The property that the check holds in every state.
 pub(crate) const SOLD_ONCE: &str = "nothing is sold twice";
@@ -149,7 +150,8 @@
 
     fn set_up_response_arrives(&mut self, attempt_name: &str) -> Option<()> {
         let ledger = &mut self.front.as_mut()?.ledger;
-        let write = ledger.attempt_ended(attempt_name, AttemptResult::Established, 0)?;
+        let write =
+            ledger.attempt_ended(attempt_name, AttemptResult::Established, Duration::ZERO)?;
         self.unsynced.push(write);
         Some(())
     }
@@ -157,7 +159,7 @@
     fn close(&mut self, attempt_name: &str) -> Option<()> {
         self.established.remove(attempt_name);
         let ledger = &mut self.front.as_mut()?.ledger;
-        let write = ledger.attempt_ended(attempt_name, AttemptResult::Ended, 0);
+        let write = ledger.attempt_ended(attempt_name, AttemptResult::Ended, Duration::ZERO);
         self.unsynced.extend(write);
         Some(())
     }
--- a/crates/store/src/open.rs
+++ b/crates/store/src/open.rs
@@ -186,7 +186,7 @@
         intents: StillValid(state.intents),
         fleet_size: ConservativeBound::new(state.fleet_size),
         shutdown,
-        uptime_ms: StillValid(state.uptime_ms),
+        uptime: StillValid(state.uptime),
     }
 }
 
--- a/crates/store/src/tables.rs
+++ b/crates/store/src/tables.rs
@@ -2,11 +2,13 @@
 //!
 //! Names of tables and keys, and the order of the fields and variants of [`Intent`], are the stored form and don't change within a
 //! [`VERSION`].
+use crankpaddle_recovery::intents::milliseconds;
 use crankpaddle_recovery::{Intent, Key, StoreWrite};
 use redb::{
     Database, ReadTransaction, ReadableDatabase, ReadableTable, Table, TableDefinition, TableError,
 };
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// The version of the stored form.
 pub(crate) const VERSION: u32 = 1;
@@ -35,7 +37,7 @@
     pub(crate) epoch: u64,
     pub(crate) clean_shutdown: bool,
     pub(crate) fleet_size: u32,
-    pub(crate) uptime_ms: u64,
+    pub(crate) uptime: Duration,
     pub(crate) boot_id: String,
     /// The number of intents that could not be decoded; they are left out.
     pub(crate) undecodable_entries: usize,
@@ -90,7 +92,7 @@
     state.epoch = number(EPOCH);
     state.clean_shutdown = number(CLEAN_SHUTDOWN) == 1;
     state.fleet_size = number(FLEET_SIZE) as u32;
-    state.uptime_ms = number(UPTIME_MS);
+    state.uptime = Duration::from_millis(number(UPTIME_MS));
     Ok(())
 }
 
@@ -141,8 +143,8 @@
         StoreWrite::FleetSize(fronts) => {
             numbers.insert(FLEET_SIZE, u64::from(*fronts))?;
         }
-        StoreWrite::Uptime(uptime_ms) => {
-            numbers.insert(UPTIME_MS, uptime_ms)?;
+        StoreWrite::Uptime(uptime) => {
+            numbers.insert(UPTIME_MS, milliseconds(*uptime))?;
         }
         StoreWrite::CleanShutdown => {
             numbers.insert(CLEAN_SHUTDOWN, 1)?;
--- a/crates/store/tests/folder.rs
+++ b/crates/store/tests/folder.rs
@@ -48,7 +48,7 @@
         .write(&[
             put(1, IntentOutcome::InFlight),
             StoreWrite::FleetSize(40),
-            StoreWrite::Uptime(77),
+            StoreWrite::Uptime(Duration::from_millis(77)),
             StoreWrite::CleanShutdown,
         ])
         .unwrap();
@@ -59,9 +59,9 @@
         (
             fourth.shutdown,
             fourth.fleet_size.at_least(11),
-            fourth.uptime_ms.0
+            fourth.uptime.0
         ),
-        (PreviousShutdown::Clean, 40, 77)
+        (PreviousShutdown::Clean, 40, Duration::from_millis(77))
     );
     assert_eq!(
         recovered_entries(&fourth),
--- a/crates/store/tests/record_bytes.rs
+++ b/crates/store/tests/record_bytes.rs
@@ -8,6 +8,7 @@
 use std::fmt::Write as _;
 use std::fs;
 use std::path::Path;
+use std::time::Duration;
 
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().fold(String::new(), |mut text, byte| {
@@ -124,7 +125,7 @@
         },
         Case {
             name: "uptime",
-            writes: vec![StoreWrite::Uptime(u64::MAX)],
+            writes: vec![StoreWrite::Uptime(Duration::from_millis(u64::MAX))],
             added: &["numbers ran 18446744073709551615"],
         },
         Case {
--- a/crates/store/tests/samples.rs
+++ b/crates/store/tests/samples.rs
@@ -6,6 +6,7 @@
 use crankpaddle_store::Store;
 use std::fs;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 const OUTCOMES: [IntentOutcome; 4] = [
     IntentOutcome::InFlight,
@@ -14,6 +15,8 @@
     IntentOutcome::Failed,
 ];
 
+const UPTIME: Duration = Duration::from_millis(123_456);
+
 fn sample(version: u32) -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("tests/samples/v{version}"))
 }
@@ -21,7 +24,7 @@
 fn writes() -> Vec<StoreWrite> {
     let entries = (0..12).map(|n| put(n, OUTCOMES[n as usize % 4]));
     entries
-        .chain([StoreWrite::FleetSize(40), StoreWrite::Uptime(123_456)])
+        .chain([StoreWrite::FleetSize(40), StoreWrite::Uptime(UPTIME)])
         .collect()
 }
 
@@ -47,8 +50,8 @@
     assert_eq!(recovered_entries(&opened.recovered), expected);
     let recovered = opened.recovered;
     assert_eq!(
-        (recovered.epoch.0, recovered.shutdown, recovered.uptime_ms.0),
-        (2, PreviousShutdown::PowerLost, 123_456)
+        (recovered.epoch.0, recovered.shutdown, recovered.uptime.0),
+        (2, PreviousShutdown::PowerLost, UPTIME)
     );
     assert_eq!(recovered.fleet_size.at_least(0), 40);
 }
