--- a/crates/daemon/src/event_loop/previous_incarnation.rs
+++ b/crates/daemon/src/event_loop/previous_incarnation.rs
@@ -15,7 +15,6 @@
 use crankpaddle_store::{Store, StoreWriter};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use std::time::Duration;
 
 /// A class that is no longer configured; the core treats it as paid.
 const UNKNOWN_CLASS: u8 = u8::MAX;
@@ -55,7 +54,7 @@
         let intents = &recovered.intents.0;
         DurableState {
             ledger: IntentLedger::new(
-                Duration::from_nanos(core_config.key_retention),
+                core_config.key_retention,
                 core_config.max_retained_keys,
                 intents,
             ),
