API: the body of GET /fleet names its parts as the recovery does, with one conversion

The published types ServiceStage, StepReason and Former repeated the recovery's stages, evidence and shutdown under the words of the first release, and the daemon held a second list from one to the other. The body of GET /fleet is now a module of its own whose variants and fields have the recovery's names; serde renames give the published ones, and each conversion stands beside its type with an exhaustive match.

Names that stay in the published JSON of GET /members have a comment that says so.

--- a/crates/api/src/describe/bodies.rs
+++ b/crates/api/src/describe/bodies.rs
@@ -1,7 +1,7 @@
-//! Bodies of the HTTP answers.
+//! Bodies of the HTTP answers of `/health` and `/members`.
 //!
-//! Field, variant and type names here are names of the published JSON and its schemas (`api/*.json`), so they keep the
-//! words of the first release.
+//! The doc comments of the types, fields and variants are the descriptions in the published schemas (`api/*.json`), so they keep the
+//! words of the first release. So do the names that stand in the published JSON: a comment beside each says so.
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -56,6 +56,7 @@
 /// How a front stands with the others, as it sees itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
+// The name of the published schema: the local health of a front.
 pub enum OwnStanding {
     /// There is nobody to hear.
     Alone,
@@ -69,121 +70,6 @@
     Replaced,
 }
 
-/// How far service is back after a start.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema,
-)]
-#[serde(rename_all = "snake_case")]
-pub enum ServiceStage {
-    /// Nothing is known.
-    #[default]
-    Dark,
-    /// What was kept is being read.
-    Reading,
-    /// Servers are asked what became of what was begun.
-    Settling,
-    /// Paid classes are served.
-    Paid,
-    /// All are served; servers may still be cold.
-    All,
-    /// As ever.
-    Normal,
-}
-
-/// Why a step back was taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-#[serde(rename_all = "snake_case")]
-pub enum StepReason {
-    /// The process started.
-    Started,
-    /// The former life had ended in order.
-    EndedInOrder,
-    /// The disk began to be read.
-    DiskThere,
-    /// All that was kept is read.
-    Read,
-    /// Each server told, or can't be reached.
-    ServersTold,
-    /// No paid request was turned away for a while.
-    PaidServed,
-    /// Servers had time to warm.
-    Warm,
-    /// The step's time was over.
-    Time,
-}
-
-/// A step of returning service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-#[schemars(deny_unknown_fields)]
-pub struct ReturnStep {
-    /// To where.
-    pub stage: ServiceStage,
-    /// Why.
-    pub why: StepReason,
-    /// How long ago, milliseconds.
-    pub ago_ms: u64,
-}
-
-/// How the former life of a front ended.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-#[serde(rename_all = "snake_case")]
-pub enum Former {
-    /// Nothing was kept of one: it was the first, or the disk was lost.
-    #[default]
-    Unknown,
-    /// In order.
-    EndedInOrder,
-    /// The process ended without a word.
-    Killed,
-    /// Its host was booted since.
-    PowerLost,
-}
-
-/// Whether what must outlive a power loss is written.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-#[serde(rename_all = "snake_case")]
-pub enum StoreState {
-    /// It is.
-    #[default]
-    Written,
-    /// The last write failed; nothing paid is set up until one succeeds.
-    Failing,
-    /// The disk failed at the start; nothing paid is set up.
-    Unusable,
-}
-
-/// What a front knows of its past and the fleet's.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-#[schemars(deny_unknown_fields)]
-pub struct Fleet {
-    /// Its own name, the same in all its lives.
-    pub name: String,
-    /// How often it started.
-    pub epoch: u64,
-    /// How its former life ended.
-    pub former: Former,
-    /// How far service is back.
-    pub stage: ServiceStage,
-    /// How it came there, in order.
-    pub steps: Vec<ReturnStep>,
-    /// Requests that wait until it is known what was begun.
-    pub held: u64,
-    /// Paid set-ups of former lives of which no server has told what became.
-    pub unsettled: u64,
-    /// Servers that told.
-    pub servers_told: u64,
-    /// Servers that can't be reached; they are asked again.
-    pub servers_out_of_reach: u64,
-    /// Servers that are being asked.
-    pub servers_asked: u64,
-    /// Paid keys that are kept.
-    pub kept: u64,
-    /// So many fronts are reckoned with in all that is cut into parts.
-    pub reckoned_fronts: u32,
-    /// Whether it can be written.
-    pub store: StoreState,
-}
-
 /// What a front knows of the others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[schemars(deny_unknown_fields)]
@@ -194,12 +80,14 @@
     #[serde(default)]
     pub address: String,
     /// Its own standing.
+    // A name of the published JSON: the front's local health.
     pub standing: OwnStanding,
     /// The others, by name.
     pub members: Vec<Peer>,
     /// Datagrams sent, heard, and dropped for any reason, since its start.
     pub sent: u64,
     /// See `sent`.
+    // A name of the published JSON: datagrams received.
     pub heard: u64,
     /// See `sent`.
     pub dropped: u64,
@@ -208,12 +96,14 @@
     pub counted: BTreeMap<String, u64>,
     /// The latest changes, in order; at most 256.
     #[serde(default)]
+    // A name of the published JSON: the recorded changes of member states.
     pub turns: Vec<PeerTurn>,
 }
 
 /// A front came to be taken for something else.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[schemars(deny_unknown_fields)]
+// The name of the published schema: a change of a member's state.
 pub struct PeerTurn {
     /// How many there were since the start, with this one; a gap tells of some that are no longer told.
     pub number: u64,
--- a/crates/api/src/describe/mod.rs
+++ b/crates/api/src/describe/mod.rs
@@ -1,16 +1,16 @@
 //! The published documents, made from the codec's own types.
 mod asyncapi;
 mod bodies;
+mod fleet;
 mod messages;
 mod openapi;
 
 pub use asyncapi::asyncapi;
-pub use bodies::{
-    Fleet, Former, Health, Members, OwnStanding, Peer, PeerState, PeerTurn, ReturnStep,
-    ServiceStage, State, StepReason, StoreState,
-};
-use crankpaddle_session_api::Version;
+pub use bodies::{Health, Members, OwnStanding, Peer, PeerState, PeerTurn, State};
+pub use fleet::{Fleet, ReturnStep, ServiceStage, ShutdownKind, StepReason, StoreState};
 pub use openapi::openapi;
+
+use crankpaddle_session_api::Version;
 use schemars::generate::SchemaSettings;
 use schemars::{JsonSchema, SchemaGenerator};
 use serde_json::Value;
--- a/crates/api/src/describe/openapi.rs
+++ b/crates/api/src/describe/openapi.rs
@@ -1,5 +1,6 @@
 //! The OpenAPI 3.1 document of the HTTP beside the session API.
-use super::bodies::{Fleet, Health, Members};
+use super::bodies::{Health, Members};
+use super::fleet::Fleet;
 use super::{generator, plain, release, schema};
 use crankpaddle_cross_zone_traffic::report::TrafficReport;
 use crankpaddle_http::problem::Problem;
--- a/crates/daemon/src/event_loop/previous_incarnation.rs
+++ b/crates/daemon/src/event_loop/previous_incarnation.rs
@@ -4,7 +4,7 @@
 use crate::config_lookup::{index_of, tenant_index};
 use crate::message::Message;
 use crate::recovered_state::OpenedState;
-use crankpaddle_api::describe::{Fleet, Former};
+use crankpaddle_api::describe::Fleet;
 use crankpaddle_front::{
     keys::RequestOutcome, AttemptId, Input, PreviousShutdown, StagedRecovery, Time,
 };
@@ -72,7 +72,7 @@
             base_status: Fleet {
                 name: front_name,
                 epoch: recovered.epoch.0,
-                former: shutdown_status(recovered.shutdown), // The name in `GET /fleet`.
+                previous_shutdown: recovered.shutdown.into(),
                 ..Fleet::default()
             },
             is_write_failing: false,
@@ -149,13 +149,3 @@
         }
     }
 }
-
-/// How the previous incarnation ended, in the terms of `GET /fleet`.
-fn shutdown_status(shutdown: PreviousShutdown) -> Former {
-    match shutdown {
-        PreviousShutdown::Unknown => Former::Unknown,
-        PreviousShutdown::Clean => Former::EndedInOrder,
-        PreviousShutdown::Killed => Former::Killed,
-        PreviousShutdown::PowerLost => Former::PowerLost,
-    }
-}
