Store: one place for the advice of an error in log lines

The store's writer and the daemon each turned the advice of a store's error into text. Error::help_text does it for both.

--- a/crates/daemon/src/recovered_state.rs
+++ b/crates/daemon/src/recovered_state.rs
@@ -41,7 +41,7 @@
         Err(error @ Error::Disk { .. }) => {
             tracing::error!(
                 reason = %error,
-                help = help_text(&error),
+                help = error.help_text(),
                 "store unavailable, paid set-ups are rejected"
             );
             return Ok(OpenedState {
@@ -80,7 +80,7 @@
         tracing::error!(
             path = %path.display(),
             %reason,
-            help = help_text(reason),
+            help = reason.help_text(),
             "store quarantined, a new one is created"
         );
     }
@@ -103,9 +103,3 @@
         uptime: StillValid(Duration::ZERO),
     }
 }
-
-fn help_text(error: &Error) -> String {
-    miette::Diagnostic::help(error)
-        .map(|help| help.to_string())
-        .unwrap_or_default()
-}
--- a/crates/store/src/errors.rs
+++ b/crates/store/src/errors.rs
@@ -99,6 +99,12 @@
         ]
     }
 
+    /// The advice to an operator, for log lines; empty if there is none.
+    #[must_use]
+    pub fn help_text(&self) -> String {
+        self.help().map(|help| help.to_string()).unwrap_or_default()
+    }
+
     pub(crate) fn disk(dir: &Path, source: io::Error) -> Error {
         Error::Disk {
             dir: dir.to_owned(),
--- a/crates/store/src/writer.rs
+++ b/crates/store/src/writer.rs
@@ -129,10 +129,12 @@
 }
 
 fn log_write_failure(store: &Store, error: &Error) {
-    let help = miette::Diagnostic::help(error)
-        .map(|help| help.to_string())
-        .unwrap_or_default();
-    tracing::error!(dir = %store.dir().display(), %error, help, "store write failed");
+    tracing::error!(
+        dir = %store.dir().display(),
+        %error,
+        help = error.help_text(),
+        "store write failed"
+    );
 }
 
 fn notify_requesters(
