API: the check of traffic against the descriptions in plain words and typed keys

Responses were found by tuples of three strings, two documents by their index in an array, and a message was "held against" a document. Keys are BodyKey and StatusKey, the documents have names, an Exception states what it covers, and the walk over a schema is collect_items. ConformanceChecker::take and ::verdict are ::record and ::report. The texts that the command prints and the form of recordings are as before.

In the tests only names changed.

--- a/crates/api/src/conform.rs
+++ b/crates/api/src/conform.rs
@@ -1,19 +1,25 @@
-//! Whether recorded traffic and the published descriptions agree, in both directions.
+//! Checks whether recorded traffic and the published descriptions agree, in both directions.
 //!
-//! Reads the documents, never the types that they came from. A message that no description allows is a fault; so is what is
-//! described and was never exchanged in a whole run: a message, a property, a value of an enum, a status. What no run can
-//! show is listed with its reason.
+//! The check reads the documents, never the types from which they are generated. A message that no description allows is a fault. So
+//! is a described item that a complete run never exchanges: a message, a property, a value of an enum, a status. Items that no run
+//! can exchange are listed as exceptions with a reason.
 mod documents;
 
 use crate::errors::ApiError;
-use documents::{messages_of, walk, Responses};
+use documents::{collect_items, messages_of, BodyKey, Responses, StatusKey};
 use jsonschema::Validator;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::fmt;
 
-/// One thing that went over a socket.
+/// The path under which the documents describe responses that any path may give.
+const ANY_PATH: &str = "*";
+/// Items for JSON-RPC batches, which no document describes.
+const BATCH_OF_CALLS: &str = "batch of calls";
+const BATCH_OF_ANSWERS: &str = "batch of answers";
+
+/// A message or a request and its response, as recorded at a socket.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "what", rename_all = "snake_case")]
 pub enum Exchange {
@@ -21,48 +27,57 @@
     Text {
         /// Whether the player sent it.
         call: bool,
-        /// It.
+        /// The content of the frame.
         text: String,
     },
-    /// A request and its answer.
+    /// An HTTP request and its response.
     Http {
-        /// Its method.
+        /// The request's method.
         method: String,
-        /// Its path.
+        /// The request's path.
         path: String,
-        /// The answer's status.
+        /// The response's status.
         status: u16,
-        /// The answer's media type; empty where it has none.
+        /// The response's media type; empty if it has none.
         media: String,
-        /// The answer's body.
+        /// The response's body.
         body: String,
     },
 }
 
-/// What is described and has not been seen for a reason.
+/// A described item that need not be exchanged.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Exception {
-    /// As [`ConformanceReport::unseen`] names it.
+    /// The item, as [`ConformanceReport::unseen`] names it.
     pub item: String,
-    /// Why no run shows it.
+    /// Why no run exchanges it.
     pub reason: String,
 }
 
-/// What a run showed.
+impl Exception {
+    /// Whether the exception is for this item or for one that contains it.
+    fn covers(&self, item: &str) -> bool {
+        item.strip_prefix(self.item.as_str())
+            .is_some_and(|rest| rest.is_empty() || rest.starts_with(['.', ' ', '[']))
+    }
+}
+
+/// The result of a check.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ConformanceReport {
     /// Exchanges that no description allows.
     pub undescribed: Vec<String>,
-    /// What is described and was never exchanged.
+    /// Described items that were never exchanged.
     pub unseen: BTreeSet<String>,
-    /// Exceptions for what was seen, or is not described at all.
+    /// Exceptions for items that were exchanged or are not described, and exceptions without a reason.
     pub needless: Vec<String>,
-    /// Messages and answers that were looked at.
+    /// The number of messages and responses that were checked.
     pub looked_at: usize,
 }
 
 impl ConformanceReport {
-    /// Whether both directions agree.
+    /// Whether traffic and descriptions agree in both directions. A run without traffic shows nothing, so it does not agree.
+    #[must_use]
     pub fn agrees(&self) -> bool {
         self.looked_at > 0
             && self.undescribed.is_empty()
@@ -72,34 +87,49 @@
 }
 
 impl fmt::Display for ConformanceReport {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.undescribed
-            .iter()
-            .try_for_each(|what| writeln!(f, "not described: {what}"))?;
-        self.unseen
-            .iter()
-            .try_for_each(|what| writeln!(f, "described and never exchanged: {what}"))?;
-        self.needless
-            .iter()
-            .try_for_each(|what| writeln!(f, "needless exception: {what}"))?;
-        write!(f, "{} messages and answers looked at", self.looked_at)
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for exchange in &self.undescribed {
+            writeln!(formatter, "not described: {exchange}")?;
+        }
+        for item in &self.unseen {
+            writeln!(formatter, "described and never exchanged: {item}")?;
+        }
+        for item in &self.needless {
+            writeln!(formatter, "needless exception: {item}")?;
+        }
+        write!(
+            formatter,
+            "{} messages and answers looked at",
+            self.looked_at
+        )
     }
 }
 
-/// A message or a body with its schema.
+/// A described message or body.
 struct Described {
     name: String,
     schema: Value,
     validator: Validator,
 }
 
-/// Holds traffic against documents.
+impl Described {
+    /// The items of this description that the value exchanges; with `None` all of them.
+    fn items(&self, document: &Value, value: Option<&Value>) -> Vec<String> {
+        let mut items = vec![self.name.clone()];
+        collect_items(document, &self.schema, value, &self.name, &mut items);
+        items
+    }
+}
+
+/// Checks recorded traffic against the two published documents.
 pub struct ConformanceChecker {
-    documents: [Value; 2], // AsyncAPI and OpenAPI.
+    asyncapi: Value,
+    openapi: Value,
+    /// Messages that players send.
     calls: Vec<Described>,
+    /// Messages that fronts send.
     notifications: Vec<Described>,
-    bodies: BTreeMap<(String, String, String), Described>, // By path, status, media type.
-    statuses: BTreeSet<(String, String)>,                  // Without a body.
+    responses: Responses,
     seen: BTreeSet<String>,
     undescribed: Vec<String>,
     looked_at: usize,
@@ -109,137 +139,125 @@
     /// Reads the two documents.
     ///
     /// # Errors
-    /// One of them is no JSON, refers to nothing, or holds a schema that is none.
+    /// A document is not JSON, has a dangling reference, or contains an invalid schema.
     pub fn new(asyncapi: &str, openapi: &str) -> Result<ConformanceChecker, ApiError> {
-        let documents: [Value; 2] = [
-            serde_json::from_str(asyncapi)?,
-            serde_json::from_str(openapi)?,
-        ];
-        let calls = messages_of(&documents[0], "call")?;
-        let notifications = messages_of(&documents[0], "tell")?;
-        let responses = Responses::of(&documents[1])?;
+        let asyncapi: Value = serde_json::from_str(asyncapi)?;
+        let openapi: Value = serde_json::from_str(openapi)?;
         Ok(ConformanceChecker {
-            documents,
-            calls,
-            notifications,
-            bodies: responses.bodies,
-            statuses: responses.statuses,
+            calls: messages_of(&asyncapi, "call")?,
+            notifications: messages_of(&asyncapi, "tell")?,
+            responses: Responses::read(&openapi)?,
+            asyncapi,
+            openapi,
             seen: BTreeSet::new(),
             undescribed: Vec::new(),
             looked_at: 0,
         })
     }
 
-    /// Whether a call is one that is described.
+    /// Whether exactly one described call allows this one.
+    #[must_use]
     pub fn allows_call(&self, call: &Value) -> bool {
-        self.calls
-            .iter()
-            .filter(|d| d.validator.is_valid(call))
-            .count()
-            == 1
+        let allowing = self.calls.iter();
+        let allowing = allowing.filter(|described| described.validator.is_valid(call));
+        allowing.count() == 1
     }
 
-    /// Takes what went over a socket.
-    pub fn take(&mut self, exchange: &Exchange) {
+    /// Checks a recorded exchange.
+    pub fn record(&mut self, exchange: &Exchange) {
         match exchange {
-            Exchange::Text { call, text } => self.text(*call, text),
+            Exchange::Text { call, text } => self.record_text(*call, text),
             Exchange::Http {
                 method,
                 path,
                 status,
                 media,
                 body,
-            } => self.answer(method, path, *status, media, body),
+            } => self.record_response(method, path, *status, media, body),
         }
     }
 
-    fn text(&mut self, call: bool, text: &str) {
+    fn record_text(&mut self, is_call: bool, text: &str) {
         match serde_json::from_str(text) {
             Ok(Value::Array(members)) if !members.is_empty() => {
-                self.seen.insert(format!(
-                    "batch of {}",
-                    if call { "calls" } else { "answers" }
-                ));
-                members.iter().for_each(|member| self.message(call, member));
+                let batch = if is_call {
+                    BATCH_OF_CALLS
+                } else {
+                    BATCH_OF_ANSWERS
+                };
+                self.seen.insert(batch.to_owned());
+                for member in &members {
+                    self.record_message(is_call, member);
+                }
             }
-            Ok(value) => self.message(call, &value),
-            // What a player gets wrong is answered, not described.
-            Err(_) if call => {}
-            Err(e) => self
+            Ok(value) => self.record_message(is_call, &value),
+            // A call may be malformed; the front's answer to it is checked.
+            Err(_) if is_call => {}
+            Err(error) => self
                 .undescribed
-                .push(format!("the front sent no JSON ({e}): {text}")),
+                .push(format!("the front sent no JSON ({error}): {text}")),
         }
     }
 
-    fn message(&mut self, call: bool, value: &Value) {
+    fn record_message(&mut self, is_call: bool, message: &Value) {
         self.looked_at += 1;
-        let among = if call {
+        let candidates = if is_call {
             &self.calls
         } else {
             &self.notifications
         };
-        let fits: Vec<&Described> = among
+        let allowing: Vec<&Described> = candidates
             .iter()
-            .filter(|d| d.validator.is_valid(value))
+            .filter(|described| described.validator.is_valid(message))
             .collect();
-        let [fit] = fits[..] else {
-            // A wrong call is the player's own; the answer to it is what is described.
-            if !call || fits.len() > 1 {
-                let names: Vec<&str> = fits.iter().map(|d| d.name.as_str()).collect();
-                self.undescribed.push(format!(
-                    "{} messages fit ({}): {value}",
-                    fits.len(),
-                    names.join(", ")
-                ));
-            }
+        if let [described] = allowing[..] {
+            self.seen
+                .extend(described.items(&self.asyncapi, Some(message)));
             return;
-        };
-        let mut seen = vec![fit.name.clone()];
-        walk(
-            &self.documents[0],
-            &fit.schema,
-            Some(value),
-            &fit.name,
-            &mut seen,
-        );
-        self.seen.extend(seen);
+        }
+        // A call may be invalid; the front's answer to it is checked.
+        if is_call && allowing.is_empty() {
+            return;
+        }
+        let names: Vec<&str> = allowing
+            .iter()
+            .map(|described| described.name.as_str())
+            .collect();
+        self.undescribed.push(format!(
+            "{} messages fit ({}): {message}",
+            allowing.len(),
+            names.join(", ")
+        ));
     }
 
-    fn answer(&mut self, method: &str, path: &str, status: u16, media: &str, body: &str) {
+    fn record_response(&mut self, method: &str, path: &str, status: u16, media: &str, body: &str) {
         self.looked_at += 1;
-        let plain = path.split('?').next().unwrap_or("");
-        let status = status.to_string();
-        let own = (method == "GET").then_some(plain).into_iter();
-        for place in own.chain(["*"]) {
-            if media.is_empty() && self.statuses.contains(&(place.to_owned(), status.clone())) {
-                self.seen.insert(format!("GET {place} {status}"));
+        let path_without_query = path.split('?').next().unwrap_or("");
+        let own_path = (method == "GET").then_some(path_without_query);
+        for described_path in own_path.into_iter().chain([ANY_PATH]) {
+            let status_key = StatusKey {
+                path: described_path.to_owned(),
+                status: status.to_string(),
+            };
+            if media.is_empty() && self.responses.statuses.contains(&status_key) {
+                self.seen.insert(status_key.item());
                 return;
             }
-            let key = (place.to_owned(), status.clone(), media.to_owned());
-            let Some(described) = self.bodies.get(&key) else {
-                continue;
+            let body_key = BodyKey {
+                status: status_key,
+                media: media.to_owned(),
             };
-            let json = media.contains("json");
-            let value = if json {
-                serde_json::from_str(body).ok()
-            } else {
-                Some(Value::String(body.to_owned()))
+            let Some(described) = self.responses.bodies.get(&body_key) else {
+                continue;
             };
-            let Some(value) = value.filter(|v| described.validator.is_valid(v)) else {
-                self.undescribed.push(format!(
+            match parse_body(media, body).filter(|value| described.validator.is_valid(value)) {
+                Some(value) => self
+                    .seen
+                    .extend(described.items(&self.openapi, Some(&value))),
+                None => self.undescribed.push(format!(
                     "{method} {path} {status}: the body is another: {body}"
-                ));
-                return;
-            };
-            let mut seen = vec![described.name.clone()];
-            walk(
-                &self.documents[1],
-                &described.schema,
-                Some(&value),
-                &described.name,
-                &mut seen,
-            );
-            self.seen.extend(seen);
+                )),
+            }
             return;
         }
         self.undescribed.push(format!(
@@ -247,57 +265,50 @@
         ));
     }
 
-    /// All that is described, as [`ConformanceReport::unseen`] names it.
+    /// All described items, as [`ConformanceReport::unseen`] names them.
+    #[must_use]
     pub fn items(&self) -> BTreeSet<String> {
-        let mut all: BTreeSet<String> = ["batch of calls", "batch of answers"]
-            .map(str::to_owned)
-            .into();
-        let of = |document: &Value, d: &Described, all: &mut BTreeSet<String>| {
-            let mut items = vec![d.name.clone()];
-            walk(document, &d.schema, None, &d.name, &mut items);
-            all.extend(items);
-        };
-        self.calls
-            .iter()
-            .chain(&self.notifications)
-            .for_each(|d| of(&self.documents[0], d, &mut all));
-        self.bodies
-            .values()
-            .for_each(|d| of(&self.documents[1], d, &mut all));
-        all.extend(
-            self.statuses
-                .iter()
-                .map(|(path, status)| format!("GET {path} {status}")),
-        );
-        all
+        let mut items: BTreeSet<String> =
+            [BATCH_OF_CALLS, BATCH_OF_ANSWERS].map(str::to_owned).into();
+        for described in self.calls.iter().chain(&self.notifications) {
+            items.extend(described.items(&self.asyncapi, None));
+        }
+        for described in self.responses.bodies.values() {
+            items.extend(described.items(&self.openapi, None));
+        }
+        items.extend(self.responses.statuses.iter().map(StatusKey::item));
+        items
     }
 
-    /// What all that was taken shows.
-    pub fn verdict(&self, exceptions: &[Exception]) -> ConformanceReport {
+    /// The result for all recorded exchanges.
+    #[must_use]
+    pub fn report(&self, exceptions: &[Exception]) -> ConformanceReport {
         let items = self.items();
-        // An exception excuses what stands within it too.
-        let within = |item: &str, e: &Exception| {
-            item.strip_prefix(e.item.as_str())
-                .is_some_and(|rest| rest.is_empty() || rest.starts_with(['.', ' ', '[']))
-        };
-        let unseen = items
-            .difference(&self.seen)
-            .filter(|item| !exceptions.iter().any(|e| within(item, e)));
-        let needless = |e: &&Exception| {
-            self.seen.contains(&e.item) || !items.contains(&e.item) || e.reason.trim().is_empty()
+        let is_excepted = |item: &str| exceptions.iter().any(|exception| exception.covers(item));
+        let unseen = items.difference(&self.seen);
+        let unseen = unseen.filter(|item| !is_excepted(item));
+        let is_needless = |exception: &&Exception| {
+            self.seen.contains(&exception.item)
+                || !items.contains(&exception.item)
+                || exception.reason.trim().is_empty()
         };
+        let needless = exceptions.iter().filter(is_needless);
         ConformanceReport {
             undescribed: self.undescribed.clone(),
             unseen: unseen.cloned().collect(),
-            needless: exceptions
-                .iter()
-                .filter(needless)
-                .map(|e| e.item.clone())
-                .collect(),
+            needless: needless.map(|exception| exception.item.clone()).collect(),
             looked_at: self.looked_at,
         }
     }
 }
 
+/// The value that a body is checked as; `None` if its media type is JSON and it is not.
+fn parse_body(media: &str, body: &str) -> Option<Value> {
+    if media.contains("json") {
+        return serde_json::from_str(body).ok();
+    }
+    Some(Value::String(body.to_owned()))
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/api/src/conform/documents.rs
+++ b/crates/api/src/conform/documents.rs
@@ -1,15 +1,11 @@
-//! Reading the published documents: what they describe, with compiled schemas.
-use super::Described;
+//! Reads what the published documents describe, with compiled schemas.
+use super::{Described, ANY_PATH};
 use crate::errors::ApiError;
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A schema that finds the document's others.
-pub(super) fn compiled(
-    document: &Value,
-    name: String,
-    schema: &Value,
-) -> Result<Described, ApiError> {
+/// A described message or body; its schema may refer to the document's components.
+fn describe(document: &Value, name: String, schema: &Value) -> Result<Described, ApiError> {
     let with_components = json!({"allOf": [schema], "components": document["components"]});
     match jsonschema::draft202012::new(&with_components) {
         Ok(validator) => Ok(Described {
@@ -17,20 +13,21 @@
             schema: schema.clone(),
             validator,
         }),
-        Err(fault) => Err(ApiError::Schema {
+        Err(error) => Err(ApiError::Schema {
             name,
-            source: Box::new(fault.to_owned()),
+            source: Box::new(error.to_owned()),
         }),
     }
 }
 
-pub(super) fn at<'v>(document: &'v Value, reference: &str) -> Option<&'v Value> {
+/// The value that a reference points to.
+fn resolve<'v>(document: &'v Value, reference: &str) -> Option<&'v Value> {
     document.pointer(reference.strip_prefix('#')?)
 }
 
-/// What the reference in `value` points at.
-pub(super) fn referenced<'v>(document: &'v Value, value: &Value) -> Option<&'v Value> {
-    at(document, value["$ref"].as_str()?)
+/// The value that the reference in `value` points to.
+fn resolve_in<'v>(document: &'v Value, value: &Value) -> Option<&'v Value> {
+    resolve(document, value["$ref"].as_str()?)
 }
 
 /// The messages of an operation of an AsyncAPI document.
@@ -43,50 +40,79 @@
     };
     let mut messages = Vec::with_capacity(listed.len());
     for entry in listed {
-        let message = referenced(document, entry).and_then(|m| referenced(document, m));
-        let name = message.and_then(|m| m["name"].as_str());
+        let message =
+            resolve_in(document, entry).and_then(|in_channel| resolve_in(document, in_channel));
+        let name = message.and_then(|message| message["name"].as_str());
         let (Some(message), Some(name)) = (message, name) else {
             return Err(ApiError::DanglingReference {
                 operation: operation.to_owned(),
                 message: entry.to_string(),
             });
         };
-        messages.push(compiled(document, name.to_owned(), &message["payload"])?);
+        messages.push(describe(document, name.to_owned(), &message["payload"])?);
     }
     Ok(messages)
 }
 
-/// Answers of an OpenAPI document: those with a body and those without.
+/// A path and a status of its responses.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct StatusKey {
+    pub(super) path: String,
+    pub(super) status: String,
+}
+
+impl StatusKey {
+    /// The name of the described response.
+    pub(super) fn item(&self) -> String {
+        format!("GET {} {}", self.path, self.status)
+    }
+}
+
+/// A response with a body of one media type.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct BodyKey {
+    pub(super) status: StatusKey,
+    pub(super) media: String,
+}
+
+/// The responses that an OpenAPI document describes.
 #[derive(Default)]
 pub(super) struct Responses {
-    pub(super) bodies: BTreeMap<(String, String, String), Described>,
-    pub(super) statuses: BTreeSet<(String, String)>,
+    pub(super) bodies: BTreeMap<BodyKey, Described>,
+    /// Responses without a body.
+    pub(super) statuses: BTreeSet<StatusKey>,
 }
 
 impl Responses {
-    /// Reads all answers: those of each path, and under `*` those that any path may give.
-    pub(super) fn of(document: &Value) -> Result<Responses, ApiError> {
+    /// Reads the responses of each path, and under [`ANY_PATH`] those that any path may give.
+    pub(super) fn read(document: &Value) -> Result<Responses, ApiError> {
         let paths = document["paths"].as_object();
         let paths = paths.ok_or(ApiError::MissingPaths)?;
         let mut responses = Responses::default();
         for (path, methods) in paths {
             responses.read_path(document, path, &methods["get"]["responses"])?;
         }
-        responses.read_path(document, "*", &document["components"]["responses"])?;
+        responses.read_path(document, ANY_PATH, &document["components"]["responses"])?;
         Ok(responses)
     }
 
     fn read_path(&mut self, document: &Value, path: &str, listed: &Value) -> Result<(), ApiError> {
         for (status, response) in listed.as_object().into_iter().flatten() {
-            let content = response["content"].as_object().filter(|c| !c.is_empty());
-            let Some(content) = content else {
-                self.statuses.insert((path.to_owned(), status.clone()));
+            let key = || StatusKey {
+                path: path.to_owned(),
+                status: status.clone(),
+            };
+            let content = response["content"].as_object();
+            let Some(content) = content.filter(|content| !content.is_empty()) else {
+                self.statuses.insert(key());
                 continue;
             };
-            for (media, of) in content {
-                let name = format!("GET {path} {status}");
-                let described = compiled(document, name, &of["schema"])?;
-                let key = (path.to_owned(), status.clone(), media.clone());
+            for (media, media_type) in content {
+                let described = describe(document, key().item(), &media_type["schema"])?;
+                let key = BodyKey {
+                    status: key(),
+                    media: media.clone(),
+                };
                 self.bodies.insert(key, described);
             }
         }
@@ -94,54 +120,61 @@
     }
 }
 
-/// Names what a schema describes: each property, and each value of an enum. With an instance, only what it holds.
-pub(super) fn walk(
+/// Collects the names of the items that a schema describes: each property, and each value of an enum. With an instance only those
+/// that it contains.
+pub(super) fn collect_items(
     document: &Value,
     schema: &Value,
     instance: Option<&Value>,
     path: &str,
-    out: &mut Vec<String>,
+    items: &mut Vec<String>,
 ) {
-    if let Some(referenced) = schema["$ref"].as_str().and_then(|r| at(document, r)) {
-        walk(document, referenced, instance, path, out);
-    }
-    for word in ["allOf", "anyOf", "oneOf"] {
-        for inner in schema[word].as_array().into_iter().flatten() {
-            walk(document, inner, instance, path, out);
-        }
+    if let Some(referenced) = resolve_in(document, schema) {
+        collect_items(document, referenced, instance, path, items);
     }
-    // An enum's values: as such, or as constants of alternatives, each with a description of its own.
-    let constants = schema["oneOf"]
-        .as_array()
-        .into_iter()
-        .flatten()
-        .filter_map(|s| s.get("const"));
-    for value in schema["enum"]
-        .as_array()
-        .into_iter()
-        .flatten()
-        .chain(constants)
-    {
-        if instance.is_none_or(|i| i == value) {
-            out.push(format!("{path} = {value}"));
+    for keyword in ["allOf", "anyOf", "oneOf"] {
+        for alternative in elements(&schema[keyword]) {
+            collect_items(document, alternative, instance, path, items);
         }
     }
-    for (name, inner) in schema["properties"].as_object().into_iter().flatten() {
-        let inner_instance = instance.map(|i| i.get(name));
-        if inner_instance != Some(None) {
-            let path = format!("{path}.{name}");
-            out.push(path.clone());
-            walk(document, inner, inner_instance.flatten(), &path, out);
+    // An enum's values are listed as such, or as constants of alternatives that each have a description.
+    let constants = elements(&schema["oneOf"]).filter_map(|alternative| alternative.get("const"));
+    for value in elements(&schema["enum"]).chain(constants) {
+        if instance.is_none_or(|instance| instance == value) {
+            items.push(format!("{path} = {value}"));
         }
     }
+    collect_properties(document, &schema["properties"], instance, path, items);
     if schema["items"].is_object() {
         let path = format!("{path}[]");
-        match instance {
-            None => walk(document, &schema["items"], None, &path, out),
-            Some(list) => {
-                let each = list.as_array().into_iter().flatten();
-                each.for_each(|item| walk(document, &schema["items"], Some(item), &path, out));
-            }
+        let Some(list) = instance else {
+            return collect_items(document, &schema["items"], None, &path, items);
+        };
+        for element in elements(list) {
+            collect_items(document, &schema["items"], Some(element), &path, items);
+        }
+    }
+}
+
+fn collect_properties(
+    document: &Value,
+    properties: &Value,
+    instance: Option<&Value>,
+    path: &str,
+    items: &mut Vec<String>,
+) {
+    for (name, schema) in properties.as_object().into_iter().flatten() {
+        let value = instance.and_then(|instance| instance.get(name));
+        if instance.is_some() && value.is_none() {
+            continue;
         }
+        let path = format!("{path}.{name}");
+        items.push(path.clone());
+        collect_items(document, schema, value, &path, items);
     }
 }
+
+/// The elements of an array; none of any other value.
+fn elements(value: &Value) -> impl Iterator<Item = &Value> {
+    value.as_array().into_iter().flatten()
+}
--- a/crates/api/src/conform/tests.rs
+++ b/crates/api/src/conform/tests.rs
@@ -1,23 +1,23 @@
-//! Traffic held against documents.
+//! Traffic that is checked against documents.
 use super::*;
 
 fn checker() -> ConformanceChecker {
     ConformanceChecker::new(crate::PRESENT, crate::OPENAPI).unwrap()
 }
 
-fn told(text: &str) -> ConformanceReport {
-    let mut c = checker();
-    c.take(&Exchange::Text {
+fn report_of(text: &str) -> ConformanceReport {
+    let mut checker = checker();
+    checker.record(&Exchange::Text {
         call: false,
         text: text.to_owned(),
     });
-    c.verdict(&[])
+    checker.report(&[])
 }
 
 #[test]
 fn what_no_description_allows_is_found() {
     let good = r#"{"jsonrpc":"2.0","id":1,"error":{"code":-32001,"message":"refused","data":{"reason":"no_room","retry_after_ms":5}}}"#;
-    assert_eq!(told(good).undescribed, Vec::<String>::new());
+    assert_eq!(report_of(good).undescribed, Vec::<String>::new());
     for (from, to) in [
         ("no_room", "no_rooms"),
         ("\"retry_after_ms\":5", "\"retry_after_s\":5"),
@@ -34,14 +34,14 @@
     ] {
         assert!(good.contains(from), "{from}");
         assert_eq!(
-            told(&good.replacen(from, to, 1)).undescribed.len(),
+            report_of(&good.replacen(from, to, 1)).undescribed.len(),
             1,
             "{from} -> {to}"
         );
     }
     // In a batch each is looked at.
     assert_eq!(
-        told(&format!("[{good},{}]", good.replace("no_room", "none")))
+        report_of(&format!("[{good},{}]", good.replace("no_room", "none")))
             .undescribed
             .len(),
         1
@@ -51,16 +51,16 @@
 #[test]
 fn answers_over_http_are_held_against_their_path_and_status() {
     let http = |method: &str, path: &str, status, media: &str, body: &str| {
-        let mut c = checker();
+        let mut checker = checker();
         let (method, path) = (method.to_owned(), path.to_owned());
-        c.take(&Exchange::Http {
+        checker.record(&Exchange::Http {
             method,
             path,
             status,
             media: media.to_owned(),
             body: body.to_owned(),
         });
-        c.verdict(&[]).undescribed.len()
+        checker.report(&[]).undescribed.len()
     };
     let health = r#"{"state":"ready","waiting":0,"playing":0,"connections":1}"#;
     let problem = r#"{"type":"about:blank","title":"Not Found","status":404,"detail":"x"}"#;
@@ -115,7 +115,7 @@
 #[test]
 fn what_is_described_and_was_never_exchanged_is_found_down_to_values() {
     let end = r#"{"jsonrpc":"2.0","method":"session.end","params":{"session":"s-1","reason":"finished"}}"#;
-    let unseen = told(end).unseen;
+    let unseen = report_of(end).unseen;
     assert!(!unseen.contains("end") && !unseen.contains("end.params.reason = \"finished\""));
     for item in [
         "end.params.retry_after_ms",
@@ -134,9 +134,9 @@
 
 #[test]
 fn exceptions_excuse_what_they_name_and_must_be_needed() {
-    let mut c = checker();
+    let mut checker = checker();
     let end = r#"{"jsonrpc":"2.0","method":"session.move","params":{"session":"s-1"}}"#;
-    c.take(&Exchange::Text {
+    checker.record(&Exchange::Text {
         call: false,
         text: end.into(),
     });
@@ -150,12 +150,12 @@
         exception("nothing of this name", "a reason"),
         exception("rung", " "),
     ];
-    let verdict = c.verdict(&all);
-    assert!(!verdict.unseen.contains("end") && !verdict.unseen.contains("end.params.reason"));
-    assert!(verdict.unseen.contains("close") && verdict.unseen.contains("closed"));
-    assert_eq!(verdict.needless, ["move", "nothing of this name", "rung"]);
+    let report = checker.report(&all);
+    assert!(!report.unseen.contains("end") && !report.unseen.contains("end.params.reason"));
+    assert!(report.unseen.contains("close") && report.unseen.contains("closed"));
+    assert_eq!(report.needless, ["move", "nothing of this name", "rung"]);
     assert!(
-        !verdict.agrees() && !ConformanceReport::default().agrees(),
+        !report.agrees() && !ConformanceReport::default().agrees(),
         "a run of nothing shows nothing"
     );
 }
--- a/crates/cli/src/api.rs
+++ b/crates/cli/src/api.rs
@@ -117,7 +117,7 @@
         .map_err(CommandFailure::invalid_input)?;
     feed_recording(&mut checker, &args.traffic)?;
     let exceptions = read_exceptions(args.exceptions.as_deref())?;
-    let mut verdict = checker.verdict(&exceptions);
+    let mut verdict = checker.report(&exceptions);
     if args.part {
         verdict.unseen.clear();
         verdict.needless.clear();
@@ -138,7 +138,7 @@
             let line_number = index + 1;
             CommandFailure::invalid_file(recording, format_args!("line {line_number}: {error}"))
         })?;
-        checker.take(&exchange);
+        checker.record(&exchange);
     }
     Ok(())
 }
--- a/crates/daemon/tests/described/altered_descriptions.rs
+++ b/crates/daemon/tests/described/altered_descriptions.rs
@@ -109,9 +109,9 @@
         let mut checker =
             ConformanceChecker::new(&document.to_string(), crankpaddle_api::OPENAPI).unwrap();
         for exchange in exchanges {
-            checker.take(exchange);
+            checker.record(exchange);
         }
-        let verdict = checker.verdict(exceptions);
+        let verdict = checker.report(exceptions);
         assert!(
             !verdict.agrees() && verdict.to_string().contains(name),
             "{what}: {verdict}"
--- a/crates/daemon/tests/described/main.rs
+++ b/crates/daemon/tests/described/main.rs
@@ -72,7 +72,7 @@
     let mut checker =
         ConformanceChecker::new(published(version), crankpaddle_api::OPENAPI).unwrap();
     for exchange in exchanges {
-        checker.take(exchange);
+        checker.record(exchange);
     }
     checker
 }
@@ -84,7 +84,7 @@
     let runs = versions.map(|version| (version, std::thread::spawn(move || run(version))));
     for (version, run) in runs {
         let exchanges = run.join().expect("a run").exchanges();
-        let verdict = check(version, &exchanges).verdict(&exceptions);
+        let verdict = check(version, &exchanges).report(&exceptions);
         println!("{version:?}: {verdict}");
         assert!(verdict.agrees(), "{version:?}:\n{verdict}");
         if version == Version::V2 {
@@ -93,6 +93,6 @@
         // The check can fail: without one of its messages the run no longer shows all.
         let is_kept = |exchange: &&Exchange| !matches!(exchange, Exchange::Text { text, .. } if text.contains("key_spent"));
         let incomplete = check(version, exchanges.iter().filter(is_kept));
-        assert!(!incomplete.verdict(&exceptions).agrees());
+        assert!(!incomplete.report(&exceptions).agrees());
     }
 }
