API: the comparison, the page and the generators described in plain technical English

Comments spoke of what stands where, who goes on with whom and what is made of what. They name senders, receivers, versions and sets of allowed values now; names of one letter are whole words; the members of an error's data are an enum in place of an optional pair with a bool, and the messages of an operation are read by a function of their own. The texts that are printed and published are unchanged.

--- a/crates/api/src/cost.rs
+++ b/crates/api/src/cost.rs
@@ -1,20 +1,23 @@
-//! What it costs to hold a call against the API: read alone, read with the codec's checks, and by the published schemas.
+//! Measures the cost of checking a call: parsed alone, parsed with the codec's checks, and checked by the published schemas.
 use crate::conform::ConformanceChecker;
 use crankpaddle_session_api::jsonrpc::{self, Message};
 use crankpaddle_session_api::methods::Method;
 use std::hint::black_box;
 use std::time::Instant;
 
-/// A call as players send it.
+/// A call of a player.
 const CALL: &str = r#"{"jsonrpc":"2.0","id":17,"method":"session.open","params":{"key":"4f1c9a7730b2","title":"clip-03","class":"preview","viewer":"v81","top":3,"give_up_ms":4000}}"#;
 
-fn nanoseconds(calls: u32, each: impl Fn()) -> f64 {
-    let begun = Instant::now();
-    (0..calls).for_each(|_| each());
-    begun.elapsed().as_nanos() as f64 / f64::from(calls.max(1))
+/// The mean duration of a call, in nanoseconds.
+fn mean_nanoseconds(calls: u32, call: impl Fn()) -> f64 {
+    let started_at = Instant::now();
+    for _ in 0..calls {
+        call();
+    }
+    started_at.elapsed().as_nanos() as f64 / f64::from(calls.max(1))
 }
 
-/// Measures in turns; least, median and most of each, nanoseconds a call, as a table.
+/// Measures each variant in each round. Returns a table with the minimum, median and maximum of each, in nanoseconds a call.
 ///
 /// # Errors
 /// The published documents can't be read.
@@ -24,7 +27,7 @@
     let read = || drop(black_box(jsonrpc::read(black_box(CALL))));
     let checked = || {
         if let Message::One(Ok(call)) = jsonrpc::read(black_box(CALL)) {
-            let _ = black_box(Method::of(&call.method, call.params)); // Its verdict is not what is measured.
+            let _ = black_box(Method::of(&call.method, call.params)); // Only its duration matters.
         }
     };
     let by_schema = || {
@@ -33,9 +36,9 @@
     let mut figures: [Vec<f64>; 4] = Default::default();
     for _ in 0..rounds.max(1) {
         let (bare, codec, schema) = (
-            nanoseconds(calls, read),
-            nanoseconds(calls, checked),
-            nanoseconds(calls, by_schema),
+            mean_nanoseconds(calls, read),
+            mean_nanoseconds(calls, checked),
+            mean_nanoseconds(calls, by_schema),
         );
         for (all, one) in figures.iter_mut().zip([bare, codec, codec - bare, schema]) {
             all.push(one);
--- a/crates/api/src/describe/messages.rs
+++ b/crates/api/src/describe/messages.rs
@@ -11,16 +11,16 @@
 use schemars::SchemaGenerator;
 use serde_json::{json, Value};
 
-/// Which side sends a message, and why.
+/// Which side sends a message.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(super) enum MessageKind {
-    /// A player calls.
+    /// A call of a player.
     Call,
-    /// The front answers or notifies.
+    /// An answer or a notification of the front.
     Notification,
 }
 
-/// A message and its whole payload.
+/// A message and its complete payload.
 pub(super) struct Message {
     pub(super) name: &'static str,
     pub(super) summary: &'static str,
@@ -36,7 +36,7 @@
     json!({"const": "2.0"})
 }
 
-/// An id as JSON-RPC has it.
+/// An id of JSON-RPC.
 fn id() -> Value {
     json!({"type": ["string", "number", "null"]})
 }
@@ -44,7 +44,7 @@
 fn call(name: &'static str, summary: &'static str, method: &str, params: Value) -> Message {
     let properties =
         json!({"jsonrpc": version(), "id": id(), "method": {"const": method}, "params": params});
-    // Other members beside JSON-RPC's own are passed over, as they are by most of its libraries.
+    // Other members than those of JSON-RPC are ignored, as most of its libraries do.
     let required = ["jsonrpc", "id", "method", "params"];
     let payload = json!({"type": "object", "required": required, "properties": properties});
     Message {
@@ -68,17 +68,23 @@
     }
 }
 
-fn error(
-    name: &'static str,
-    summary: &'static str,
-    code: i64,
-    data: Option<(Value, bool)>,
-) -> Message {
+/// The member `data` of an error, by its schema.
+enum ErrorData {
+    None,
+    Optional(Value),
+    Required(Value),
+}
+
+fn error(name: &'static str, summary: &'static str, code: i64, data: ErrorData) -> Message {
     let mut properties = json!({"code": {"const": code}, "message": {"type": "string"}});
     let mut required = vec!["code", "message"];
-    if let Some((data, always)) = data {
-        properties["data"] = data;
-        required.extend(always.then_some("data"));
+    match data {
+        ErrorData::None => {}
+        ErrorData::Optional(schema) => properties["data"] = schema,
+        ErrorData::Required(schema) => {
+            properties["data"] = schema;
+            required.push("data");
+        }
     }
     let error = object(&required, properties);
     let payload = object(
@@ -116,7 +122,7 @@
     all
 }
 
-/// What players call.
+/// Calls of players.
 fn calls(schemas: &mut SchemaGenerator) -> Vec<Message> {
     vec![
         call(
@@ -140,7 +146,7 @@
     ]
 }
 
-/// Answers to a call that was carried out.
+/// Answers to a call that succeeded.
 fn results(schemas: &mut SchemaGenerator) -> Vec<Message> {
     vec![
         result("opened", "The session plays.", schema::<Opened>(schemas)),
@@ -159,55 +165,60 @@
             "refused",
             "Refused: nothing of it ran.",
             REFUSED,
-            Some((schema::<Refused>(schemas), true)),
+            ErrorData::Required(schema::<Refused>(schemas)),
         ),
         error(
             "failed",
             "Failed: an attempt may have run.",
             FAILED,
-            Some((schema::<Failed>(schemas), true)),
+            ErrorData::Required(schema::<Failed>(schemas)),
         ),
         error(
             "superseded",
             "Another connection took the session up.",
             SUPERSEDED,
-            None,
+            ErrorData::None,
         ),
         error(
             "unknownSession",
             "No such session, or not this connection's.",
             UNKNOWN_SESSION,
-            None,
+            ErrorData::None,
         ),
     ]
 }
 
-/// Answers to what is no valid call.
+/// Answers to an invalid call.
 fn protocol_errors(schemas: &mut SchemaGenerator) -> Vec<Message> {
     vec![
-        error("parseError", "The text is no JSON.", PARSE_ERROR, None),
+        error(
+            "parseError",
+            "The text is no JSON.",
+            PARSE_ERROR,
+            ErrorData::None,
+        ),
         error(
             "invalidRequest",
             "The JSON is no request.",
             INVALID_REQUEST,
-            None,
+            ErrorData::None,
         ),
         error(
             "methodNotFound",
             "There is no such method.",
             METHOD_NOT_FOUND,
-            None,
+            ErrorData::None,
         ),
         error(
             "invalidParams",
             "The method does not take these parameters; data where a name in them is not known.",
             INVALID_PARAMS,
-            Some((schema::<UnknownName>(schemas), false)),
+            ErrorData::Optional(schema::<UnknownName>(schemas)),
         ),
     ]
 }
 
-/// What players get without a call.
+/// Messages that the front sends without a call.
 fn notifications(schemas: &mut SchemaGenerator) -> Vec<Message> {
     vec![
         notification(
--- a/crates/api/src/describe/mod.rs
+++ b/crates/api/src/describe/mod.rs
@@ -1,4 +1,4 @@
-//! The published documents, made from the codec's own types.
+//! Generates the published documents from the codec's types.
 mod asyncapi;
 mod bodies;
 mod fleet;
@@ -15,7 +15,7 @@
 use schemars::{JsonSchema, SchemaGenerator};
 use serde_json::Value;
 
-/// The release that is described, by version; its last number changes with each change of words.
+/// The release of a version's description. Its last number changes with each change of the texts.
 fn release(version: Version) -> &'static str {
     match version {
         Version::V1 => "1.0.0",
@@ -23,7 +23,7 @@
     }
 }
 
-/// The number of a version, as `x-since` counts.
+/// The number of a version, as `x-since` states it.
 fn number(version: Version) -> u64 {
     match version {
         Version::V1 => 1,
@@ -31,17 +31,21 @@
     }
 }
 
-/// Takes out of a schema what later versions added: properties and values that say since when they are there.
+/// Removes what later versions added from a schema: properties and values that state in `x-since` which version added them.
 fn prune(value: &mut Value, version: u64) {
-    let later = |v: &Value| v["x-since"].as_u64().is_some_and(|since| since > version);
+    let is_later = |part: &Value| {
+        part["x-since"]
+            .as_u64()
+            .is_some_and(|since| since > version)
+    };
     match value {
         Value::Object(fields) => {
             if let Some(Value::Object(properties)) = fields.get_mut("properties") {
-                properties.retain(|_, property| !later(property));
+                properties.retain(|_, property| !is_later(property));
             }
             for word in ["oneOf", "anyOf"] {
                 if let Some(Value::Array(alternatives)) = fields.get_mut(word) {
-                    alternatives.retain(|alternative| !later(alternative));
+                    alternatives.retain(|alternative| !is_later(alternative));
                 }
             }
             fields.values_mut().for_each(|inner| prune(inner, version));
@@ -51,12 +55,12 @@
     }
 }
 
-/// Where schemas stand in both documents.
+/// The path of the shared schemas in both documents.
 const SCHEMAS: &str = "/components/schemas";
 
 fn generator() -> SchemaGenerator {
     SchemaSettings::draft2020_12()
-        .with(|s| s.definitions_path = SCHEMAS.into())
+        .with(|settings| settings.definitions_path = SCHEMAS.into())
         .into_generator()
 }
 
@@ -64,7 +68,7 @@
     generator.subschema_for::<T>().to_value()
 }
 
-/// A type's own schema, to be narrowed where it is used.
+/// The schema of a type without its document, to be narrowed where it is used.
 fn plain<T: JsonSchema>() -> Value {
     let mut schema = generator().into_root_schema_for::<T>().to_value();
     if let Some(fields) = schema.as_object_mut() {
@@ -75,12 +79,12 @@
     schema
 }
 
-/// A document as it is committed: sorted, indented, one newline at its end.
+/// The committed form of a document: sorted, indented, with one newline at its end.
 pub fn text(document: &Value) -> String {
     serde_json::to_string_pretty(document).unwrap_or_default() + "\n"
 }
 
-/// All that is published, by the name of its file.
+/// All published files, with their names.
 pub fn files() -> Vec<(&'static str, String)> {
     let (present, openapi) = (asyncapi(Version::V2), openapi());
     let page = crate::page::html(&present, &openapi);
--- a/crates/api/src/describe/openapi.rs
+++ b/crates/api/src/describe/openapi.rs
@@ -1,4 +1,4 @@
-//! The OpenAPI 3.1 document of the HTTP beside the session API.
+//! The OpenAPI 3.1 document of the HTTP resources beside the session API.
 use super::bodies::{Health, Members};
 use super::fleet::Fleet;
 use super::{generator, plain, release, schema};
@@ -8,37 +8,39 @@
 use schemars::SchemaGenerator;
 use serde_json::{json, Map, Value};
 
-/// An answer with a body of one media type.
+/// A response with a body of one media type.
 fn body(description: &str, media: &str, schema: &Value) -> Value {
     json!({"description": description, "content": {media: {"schema": schema}}})
 }
 
-/// An answer that is a published document.
+/// A response that is a published document.
 fn document(description: &str, media: &str) -> Value {
     json!({"description": description, "content": {media: {"schema": {}}}})
 }
 
-/// An answer that is a problem: its own status, and advice when to retry only where there is some.
+/// A response with problem details: the status is fixed, and a retry time is described only where the front states one.
 fn problem(status: u16, description: &str) -> Value {
     let mut schema = plain::<Problem>();
     schema["properties"]["status"] = json!({"const": status});
-    let advice = schema["properties"]
+    let retry_after = schema["properties"]
         .as_object_mut()
         .and_then(|properties| properties.remove("retry_after_ms"));
-    if let (Some(advice), (503, true)) = (advice, (status, description.contains("come back"))) {
-        schema["properties"]["retry_after_ms"] = advice;
+    // The description of such a problem asks the client to come back.
+    let states_retry_time = status == 503 && description.contains("come back");
+    if let (Some(retry_after), true) = (retry_after, states_retry_time) {
+        schema["properties"]["retry_after_ms"] = retry_after;
     }
     body(description, crankpaddle_http::problem::MEDIA_TYPE, &schema)
 }
 
-/// The body of `/health` in one of its states.
+/// The body of `/health` in one state.
 fn health(state: &str) -> Value {
     let mut schema = plain::<Health>();
     schema["properties"]["state"] = json!({"const": state});
     schema
 }
 
-/// Paths that show the state of a front.
+/// Paths for the state of a front.
 fn state_paths(schemas: &mut SchemaGenerator) -> Value {
     json!({
         "/health": {"get": {
@@ -74,7 +76,7 @@
     })
 }
 
-/// Paths of the session API and its descriptions.
+/// Paths for the session API and its descriptions.
 fn session_paths() -> Value {
     json!({
         "/session": {"get": {
@@ -105,7 +107,7 @@
     })
 }
 
-/// Answers that any path may give.
+/// Responses that any path may give.
 fn common_responses() -> Value {
     json!({
         "400": problem(400, "The request is malformed."),
--- a/crates/api/src/describe/tests.rs
+++ b/crates/api/src/describe/tests.rs
@@ -1,4 +1,4 @@
-//! The published documents are those of the codec, and prunes leave what a version knows.
+//! The published documents are those that the codec's types generate, and each version announces its changes.
 use super::*;
 use crate::diff::{diff, Class};
 
--- a/crates/api/src/diff.rs
+++ b/crates/api/src/diff.rs
@@ -1,9 +1,9 @@
-//! What a change of a description means for clients and servers of the old one.
+//! Compares two versions of a description, and classifies each change by its effect on clients and servers of the old version.
 //!
-//! Every change is one of sets: it allows instances that were not allowed (wider), forbids some that were (narrower), or
-//! both. A sender made by one description is understood by a receiver made by another where all that it may send is allowed
-//! there. So for what clients send, old clients are served if nothing got narrower, and old servers understand new clients
-//! if nothing got wider; for what servers send it is the other way round. What is not understood counts as both.
+//! A schema stands for the set of values that it allows. A change makes this set wider, narrower, or both. A receiver understands a
+//! sender if its version allows every value that the sender's version allows. So for messages of clients, old clients keep working if
+//! no set became narrower, and old servers understand new clients if no set became wider; for messages of servers it is the other way
+//! round. A change that the comparison does not understand counts as both.
 mod schemas;
 
 use crate::errors::ApiError;
@@ -11,31 +11,31 @@
 use std::collections::BTreeSet;
 use std::fmt;
 
-/// Who sends what changed.
+/// The sender of what changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Sender {
-    /// Calls, paths that are asked for.
+    /// Of calls, and of requests for paths.
     Client,
-    /// Answers, notifications, statuses.
+    /// Of answers, notifications and statuses.
     Server,
 }
 
-/// What a change does to old parties.
+/// The effect of a change on old clients and old servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Class {
-    /// Nothing: old clients and old servers go on.
+    /// None: old clients and old servers keep working.
     Compatible,
-    /// Old clients go on with new servers; new clients can't rely on old servers.
+    /// Old clients keep working with new servers; new clients can't rely on old servers.
     ForOldClients,
-    /// New clients go on with old servers; old clients can't rely on new servers.
+    /// New clients work with old servers; old clients can't rely on new servers.
     ForOldServers,
-    /// Neither.
+    /// Neither old clients nor old servers can be relied on.
     Breaking,
 }
 
 impl fmt::Display for Class {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
             Class::Compatible => "compatible",
             Class::ForOldClients => "compatible for old clients",
             Class::ForOldServers => "compatible for old servers",
@@ -44,24 +44,24 @@
     }
 }
 
-/// One change.
+/// A change between two versions of a description.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Change {
-    /// Where.
+    /// The place in the description.
     pub at: String,
-    /// What, and so why it is classed as it is.
+    /// What changed there.
     pub what: String,
-    /// What it does.
+    /// Its effect.
     pub class: Class,
 }
 
 impl fmt::Display for Change {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}: {}", self.class, self.at, self.what)
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}: {}: {}", self.class, self.at, self.what)
     }
 }
 
-/// Words of a schema that say nothing of what is allowed.
+/// Keywords of a schema that do not restrict the allowed values.
 const PROSE: [&str; 8] = [
     "title",
     "description",
@@ -73,7 +73,7 @@
     "default",
 ];
 
-/// Words of a schema that are compared by their meaning.
+/// Keywords of a schema that are compared by their meaning.
 const COMPARED: [&str; 10] = [
     "type",
     "properties",
@@ -93,11 +93,12 @@
     changes: Vec<Change>,
 }
 
-/// How a set changed.
+/// How the set of allowed values changed.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Set {
     Wider,
     Narrower,
+    /// Wider and narrower, or not understood.
     Other,
 }
 
@@ -112,31 +113,34 @@
 /// All changes from one description to another, both AsyncAPI or both OpenAPI.
 ///
 /// # Errors
-/// They are not of one kind, or of none that is known.
+/// The two documents are of different kinds, or of an unknown one.
 pub fn diff(old: &Value, new: &Value) -> Result<Vec<Change>, ApiError> {
-    let mut c = Comparison {
+    let mut comparison = Comparison {
         old,
         new,
         changes: Vec::new(),
     };
     if old["asyncapi"].is_string() && new["asyncapi"].is_string() {
         for (operation, sender) in [("call", Sender::Client), ("tell", Sender::Server)] {
-            c.messages(operation, sender);
+            comparison.messages(operation, sender);
         }
     } else if old["openapi"].is_string() && new["openapi"].is_string() {
-        c.paths();
+        comparison.paths();
     } else {
         return Err(ApiError::DifferentKinds);
     }
-    Ok(c.changes)
+    Ok(comparison.changes)
 }
 
+/// References of references are followed this often, so that a cycle ends.
+const MAX_REFERENCE_DEPTH: usize = 16;
+
 /// Follows references through a document.
 fn resolved<'v>(document: &'v Value, mut value: &'v Value) -> &'v Value {
-    for _ in 0..16 {
+    for _ in 0..MAX_REFERENCE_DEPTH {
         let target = value["$ref"]
             .as_str()
-            .and_then(|r| document.pointer(r.strip_prefix('#')?));
+            .and_then(|reference| document.pointer(reference.strip_prefix('#')?));
         match target {
             Some(target) => value = target,
             None => break,
@@ -149,11 +153,11 @@
     value
         .as_object()
         .into_iter()
-        .flat_map(|o| o.keys().cloned())
+        .flat_map(|object| object.keys().cloned())
         .collect()
 }
 
-/// The values that an enum allows, as such or as constants of alternatives; `None` for what is no enum.
+/// The values that an enum allows, as such or as constants of alternatives; `None` if the schema is not an enum.
 fn values(schema: &Value) -> Option<Vec<Value>> {
     if let Some(list) = schema["enum"].as_array() {
         return Some(list.clone());
@@ -169,6 +173,7 @@
     Some(all)
 }
 
+/// The elements of an array, any other value as the only element, and none for null.
 fn list(value: &Value) -> Vec<Value> {
     match value {
         Value::Array(all) => all.clone(),
@@ -177,6 +182,20 @@
     }
 }
 
+/// The names and payloads of the messages of an operation.
+fn messages_by_name(document: &Value, operation: &str) -> Vec<(String, Value)> {
+    let listed = document["operations"][operation]["messages"].as_array();
+    listed
+        .into_iter()
+        .flatten()
+        .map(|entry| resolved(document, entry))
+        .map(|message| {
+            let name = message["name"].as_str().unwrap_or("");
+            (name.to_owned(), message["payload"].clone())
+        })
+        .collect()
+}
+
 impl Comparison<'_> {
     fn found(&mut self, sender: Sender, at: &str, set: Set, what: impl Into<String>) {
         self.changes.push(Change {
@@ -187,29 +206,18 @@
     }
 
     fn messages(&mut self, operation: &str, sender: Sender) {
-        let named = |document: &Value| -> Vec<(String, Value)> {
-            let listed = document["operations"][operation]["messages"].as_array();
-            let each = listed.into_iter().flatten().map(|m| resolved(document, m));
-            each.map(|m| {
-                (
-                    m["name"].as_str().unwrap_or("").to_owned(),
-                    m["payload"].clone(),
-                )
-            })
-            .collect()
-        };
-        let (before, after) = (named(self.old), named(self.new));
+        let before = messages_by_name(self.old, operation);
+        let after = messages_by_name(self.new, operation);
         for (name, payload) in &before {
             match after.iter().find(|(other, _)| other == name) {
-                Some((_, now)) => self.schema(sender, name, payload, now),
+                Some((_, new_payload)) => self.schema(sender, name, payload, new_payload),
                 None => self.found(sender, name, Set::Narrower, "the message is gone"),
             }
         }
-        for (name, _) in after
-            .iter()
-            .filter(|(name, _)| !before.iter().any(|(other, _)| other == name))
-        {
-            self.found(sender, name, Set::Wider, "a new message");
+        for (name, _) in &after {
+            if !before.iter().any(|(other, _)| other == name) {
+                self.found(sender, name, Set::Wider, "a new message");
+            }
         }
     }
 
--- a/crates/api/src/diff/schemas.rs
+++ b/crates/api/src/diff/schemas.rs
@@ -1,4 +1,4 @@
-//! What a change of one JSON schema means.
+//! Compares two versions of a JSON schema.
 use super::{keys, list, resolved, values, Comparison, Sender, Set, COMPARED, PROSE};
 use serde_json::Value;
 
@@ -21,10 +21,10 @@
     }
 
     fn enum_values(&mut self, sender: Sender, at: &str, before: &[Value], after: &[Value]) {
-        for value in before.iter().filter(|v| !after.contains(v)) {
+        for value in before.iter().filter(|value| !after.contains(value)) {
             self.found(sender, at, Set::Narrower, format!("{value} is gone"));
         }
-        for value in after.iter().filter(|v| !before.contains(v)) {
+        for value in after.iter().filter(|value| !before.contains(value)) {
             self.found(sender, at, Set::Wider, format!("{value} is new"));
         }
     }
@@ -42,8 +42,8 @@
             }
             (true, true) | (false, false) => {}
         }
-        let gone: Vec<&Value> = was.iter().filter(|t| !is.contains(t)).collect();
-        let new: Vec<&Value> = is.iter().filter(|t| !was.contains(t)).collect();
+        let gone: Vec<&Value> = was.iter().filter(|name| !is.contains(name)).collect();
+        let new: Vec<&Value> = is.iter().filter(|name| !was.contains(name)).collect();
         match (gone.is_empty(), new.is_empty()) {
             (false, false) => {
                 self.found(sender, at, Set::Other, format!("was {gone:?}, is {new:?}"));
@@ -64,7 +64,8 @@
             if known || was == is {
                 continue;
             }
-            let shown = |v: Option<&Value>| v.map_or("nothing".to_owned(), Value::to_string);
+            let shown =
+                |value: Option<&Value>| value.map_or("nothing".to_owned(), Value::to_string);
             let (was, is) = (shown(was), shown(is));
             let what = format!("{word} was {was}, is {is}: taken as breaking");
             self.found(sender, at, Set::Other, what);
@@ -83,7 +84,7 @@
             } else {
                 f64::INFINITY
             };
-            let bound = |v: &Value| v[word].as_f64().unwrap_or(open);
+            let bound = |schema: &Value| schema[word].as_f64().unwrap_or(open);
             let (was, is) = (bound(before), bound(after));
             if was != is {
                 let set = if (is < was) == least {
@@ -141,7 +142,7 @@
         let set = match (required, is_closed(after)) {
             (true, true) => Set::Other,
             (false, true) => Set::Narrower,
-            (_, false) => Set::Wider, // Whatever stands there is allowed.
+            (_, false) => Set::Wider, // Any value of the property is allowed now.
         };
         let what = if required {
             "a needed property is gone"
@@ -163,7 +164,7 @@
         let set = match (required, is_closed(before)) {
             (true, true) => Set::Other,
             (false, true) => Set::Wider,
-            (_, false) => Set::Narrower, // Something else may have stood there.
+            (_, false) => Set::Narrower, // Any value of the property was allowed before.
         };
         let what = if required {
             "new, and must be there"
@@ -174,12 +175,14 @@
     }
 }
 
-/// Whether an object may have no properties but those listed.
+/// Whether an object can have no other properties than those listed.
 fn is_closed(schema: &Value) -> bool {
     schema["additionalProperties"] == false
 }
 
 /// Whether a property must be present.
 fn requires(schema: &Value, name: &str) -> bool {
-    list(&schema["required"]).iter().any(|r| r == name)
+    list(&schema["required"])
+        .iter()
+        .any(|required| required == name)
 }
--- a/crates/api/src/diff/tests.rs
+++ b/crates/api/src/diff/tests.rs
@@ -1,4 +1,4 @@
-//! Changes of schemas, messages, paths and statuses, each classed by who sends it.
+//! Changes of schemas, messages, paths and statuses, each classified by its sender.
 #![allow(clippy::too_many_lines)] // One table of cases.
 use super::*;
 use serde_json::json;
--- a/crates/api/src/errors.rs
+++ b/crates/api/src/errors.rs
@@ -1,10 +1,10 @@
-//! Why a description can't be used.
+//! Errors of reading and comparing descriptions.
 use thiserror::Error;
 
 /// Why descriptions can't be read or compared.
 #[derive(Debug, Error)]
 pub enum ApiError {
-    /// A document or a sample is no JSON.
+    /// A document or a sample is not JSON.
     #[error(transparent)]
     Json(#[from] serde_json::Error),
     /// The AsyncAPI document lacks an operation.
@@ -13,7 +13,7 @@
         /// The operation's name.
         operation: String,
     },
-    /// A message of an operation refers to nothing.
+    /// A message of an operation has a dangling reference.
     #[error("a message of {operation:?} refers to nothing: {message}")]
     DanglingReference {
         /// The operation's name.
@@ -29,7 +29,7 @@
     Schema {
         /// The message or body that the schema describes.
         name: String,
-        /// What is wrong with the schema.
+        /// The fault of the schema.
         source: Box<jsonschema::ValidationError<'static>>,
     },
     /// The two documents are not of one known kind.
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -1,10 +1,10 @@
-//! The session API's descriptions: AsyncAPI 3.0 of what goes over WebSocket, OpenAPI 3.1 of the HTTP beside it.
+//! The descriptions of the session API: AsyncAPI 3.0 for its WebSocket messages, OpenAPI 3.1 for its HTTP resources.
 //!
-//! - [`describe`]: both documents, made from the types that the codec itself reads and writes;
-//! - [`conform`]: whether recorded traffic and a published document agree, in both directions;
-//! - [`diff`]: what a change of a description means for old clients and old servers;
-//! - [`cost`]: what checking a call costs;
-//! - [`page`]: a page to read offline.
+//! - [`describe`]: generates both documents from the types that the codec reads and writes;
+//! - [`conform`]: checks whether recorded traffic and the published documents agree, in both directions;
+//! - [`diff`]: classifies the changes of a description by their effect on old clients and old servers;
+//! - [`cost`]: measures the cost of checking a call;
+//! - [`page`]: renders both documents as a page that can be read offline.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 pub mod conform;
@@ -18,18 +18,18 @@
 
 use serde_json::Value;
 
-/// The published description of the present version's messages, as it is committed under `api/`.
+/// The published description of the messages of the present version, as committed under `api/`.
 pub const PRESENT: &str = include_str!("../../../api/session.v2.asyncapi.json");
-/// That of the previous version's.
+/// The published description of the messages of the previous version.
 pub const PREVIOUS: &str = include_str!("../../../api/session.v1.asyncapi.json");
-/// That of HTTP.
+/// The published description of the HTTP resources.
 pub const OPENAPI: &str = include_str!("../../../api/openapi.json");
-/// Both as a page to read.
+/// The published page with both descriptions.
 pub const PAGE: &str = include_str!("../../../api/index.html");
-/// What is described and no run shows, each with its reason.
+/// Described items that no run exchanges, each with its reason.
 pub const EXCEPTIONS: &str = include_str!("../../../api/exceptions.json");
 
-/// A published document; `null` where it is no JSON.
+/// A published document; `null` if it is not JSON.
 pub fn parsed(text: &str) -> Value {
     serde_json::from_str(text).unwrap_or_default()
 }
--- a/crates/api/src/page.rs
+++ b/crates/api/src/page.rs
@@ -1,4 +1,4 @@
-//! Both descriptions as one page that needs nothing else: no script, no style from elsewhere, no network.
+//! Both descriptions as one page that can be read offline: without scripts, external styles or network access.
 use serde_json::Value;
 use std::fmt::Write;
 
@@ -9,7 +9,7 @@
         .replace('"', "&quot;")
 }
 
-/// What a value may be, in a few words; a reference is a link.
+/// A short name of the values that a schema allows; a reference becomes a link.
 fn kind(schema: &Value) -> String {
     if let Some(name) = schema["$ref"].as_str().and_then(|r| r.rsplit('/').next()) {
         let name = escaped(name);
--- a/crates/api/src/page/tests.rs
+++ b/crates/api/src/page/tests.rs
@@ -1,4 +1,4 @@
-//! The page for readers.
+//! The page that shows both descriptions.
 use super::*;
 use serde_json::json;
 
