Store, daemon's recovery: a named type for a quarantined file, comments in plain English

OpenedStore.quarantined was a pair of a path and an error; it is QuarantinedFile { path, reason }. The comments of the daemon's recovery modules spoke of what is left, what plays and who waits; they state subject and action now, and functions say what they return. IntentLedger::resolve has a test of its own.

--- a/crates/daemon/src/event_loop/durable_setup.rs
+++ b/crates/daemon/src/event_loop/durable_setup.rs
@@ -12,8 +12,8 @@
 
 /// Keys of ended set-ups pruned in one round of maintenance, so that no round takes long.
 const PRUNED_PER_ROUND: usize = 200;
-/// The uptime is written once in so many rounds of maintenance: what a power loss takes of it is a few
-/// seconds.
+/// The uptime is written once in this number of maintenance rounds, so that a power loss loses a few seconds of
+/// it.
 const ROUNDS_PER_UPTIME_WRITE: u64 = 10;
 
 impl EventLoop {
@@ -38,7 +38,7 @@
         self.handle_core_input(Input::SendDeferred(attempt, true));
     }
 
-    /// Queues the write of an intent; false where nothing can be written.
+    /// Queues the write of an intent. Returns whether it can be written.
     fn submit_intent(
         &mut self,
         attempt: AttemptId,
@@ -69,14 +69,14 @@
         writer.is_some_and(|writer| writer.submit(write))
     }
 
-    /// The known incarnation of a server; empty where none is known.
+    /// The known incarnation of a server; empty if none is known.
     pub(super) fn incarnation_of(&self, server: ServerId) -> String {
         let state = self.servers.get(&server);
         let incarnation = state.and_then(|state| state.connection.incarnation());
         incarnation.unwrap_or_default().to_owned()
     }
 
-    /// The intent of an attempt is on disk, so the attempt is sent; or the write failed, and it never is.
+    /// Sends the attempt once its intent is on disk; if the write failed, the attempt is never sent.
     pub(super) fn intent_written(&mut self, attempt: AttemptId, is_durable: bool) {
         let Some(durable) = &mut self.durable else {
             return;
@@ -105,7 +105,7 @@
         let Some(durable) = &mut self.durable else {
             return;
         };
-        // What still waited for the disk was not sent, and never will be.
+        // An attempt that still waited for the disk is never sent.
         let was_pending = durable.pending_sends.remove(&attempt).is_some();
         let result = if was_pending {
             AttemptResult::NeverRan
--- a/crates/daemon/src/event_loop/durable_state.rs
+++ b/crates/daemon/src/event_loop/durable_state.rs
@@ -1,5 +1,4 @@
-//! What the event loop owns where a store is configured: the ledger of paid set-ups, and the state of
-//! recovery.
+//! The state of paid set-ups and of recovery, which the event loop owns if a store is configured.
 use crate::attempt_sender::SetUpRequest;
 use crankpaddle_api::describe::Fleet;
 use crankpaddle_front::{AttemptId, Endpoint, EndpointListKind, ServerId, Time};
@@ -11,7 +10,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-/// A list that came before reconciliation was complete.
+/// An endpoint list that arrived before reconciliation was complete.
 pub(super) struct DeferredList {
     pub(super) kind: EndpointListKind,
     pub(super) endpoints: Vec<Endpoint>,
@@ -23,18 +22,18 @@
     pub(super) session: InventorySession,
 }
 
-/// What waits until service resumes.
+/// What is handled when service resumes.
 #[derive(Default)]
 pub(super) struct Deferred {
     pub(super) lists: Vec<DeferredList>,
     pub(super) sessions: Vec<FoundSession>,
 }
 
-/// How far the return to service is, as far as the event loop acts on it.
+/// The phase of recovery, as far as the event loop depends on it.
 pub(super) enum RecoveryPhase {
-    /// It is not known yet what previous incarnations left at servers.
+    /// It is not known yet which sessions and set-ups of previous incarnations are at servers.
     Reconciling(Deferred),
-    /// Lists and found sessions are handled as they come.
+    /// Lists and found sessions are handled as they arrive.
     Resumed,
 }
 
@@ -51,7 +50,7 @@
     /// Set-ups that are sent when their intent is on disk.
     pub(super) pending_sends: HashMap<AttemptId, SetUpRequest>,
     pub(super) phase: RecoveryPhase,
-    /// Passed to the core, which has not decided yet; by token.
+    /// Found sessions that were passed to the core and not decided on yet, by token.
     pub(super) sessions_in_adoption: HashMap<u64, FoundSession>,
     pub(super) last_token: u64,
     /// When servers started, by the age that their inventories state.
@@ -65,7 +64,7 @@
 }
 
 impl DurableState {
-    /// Queues writes that nobody waits for.
+    /// Queues writes whose durability no set-up waits for.
     pub(super) fn write(&self, writes: impl IntoIterator<Item = StoreWrite>) {
         let writes: Vec<StoreWrite> = writes.into_iter().collect();
         if writes.is_empty() {
@@ -88,7 +87,7 @@
         self.previous_uptime + clock::now().duration_since(self.started_at)
     }
 
-    /// Writes the uptime, and where the shutdown is clean, that it was; returns the thread that writes.
+    /// Writes the uptime and, if the shutdown is clean, its mark. Returns the writing thread, to be joined.
     pub(super) fn finish(self, is_clean: bool) -> Option<JoinHandle<()>> {
         let mut writes = vec![StoreWrite::Uptime(self.uptime())];
         if is_clean {
--- a/crates/daemon/src/event_loop/previous_incarnation.rs
+++ b/crates/daemon/src/event_loop/previous_incarnation.rs
@@ -1,4 +1,4 @@
-//! The start from a store: what the previous incarnations of this front left is passed to the core.
+//! The start from a store: passes the state of previous incarnations to the core.
 use super::durable_state::{Deferred, DurableState, RecoveryPhase};
 use super::EventLoop;
 use crate::config_lookup::{index_of, tenant_index};
@@ -20,7 +20,7 @@
 const UNKNOWN_CLASS: u8 = u8::MAX;
 
 impl EventLoop {
-    /// Passes the recovered state to the core: the stages in which service returns, and each paid key.
+    /// Starts the staged recovery in the core and passes each paid key of previous incarnations to it.
     pub(super) fn resume_previous_incarnation(&mut self, opened: OpenedState) {
         let Some(store_config) = &self.shared.config.store else {
             return;
@@ -115,8 +115,8 @@
         });
     }
 
-    /// Passes the core the outcome of a paid key; `None`: its set-up never ran. Keys of removed tenants are
-    /// dropped.
+    /// Passes the outcome of a paid key to the core; `None`: its set-up never ran. Keys of tenants that are no
+    /// longer configured are dropped.
     pub(super) fn key_resolved(&mut self, key: &Key, class: &str, outcome: Option<RequestOutcome>) {
         let config = &self.shared.config;
         let Some(tenant) = tenant_index(config, &key.tenant) else {
@@ -140,7 +140,7 @@
     }
 }
 
-/// After a clean shutdown nothing is left at servers.
+/// After a clean shutdown servers hold nothing of the previous incarnation, so there is nothing to reconcile.
 fn first_phase(shutdown: PreviousShutdown) -> RecoveryPhase {
     match shutdown {
         PreviousShutdown::Clean => RecoveryPhase::Resumed,
--- a/crates/daemon/src/event_loop/reconciliation.rs
+++ b/crates/daemon/src/event_loop/reconciliation.rs
@@ -1,5 +1,5 @@
-//! Reconciliation with the servers: which set-ups of a previous incarnation ran, and which sessions still
-//! play.
+//! Reconciliation with the servers: which set-ups of a previous incarnation ran, and which of its sessions are
+//! still established.
 use super::durable_state::{DeferredList, DurableState, FoundSession, RecoveryPhase};
 use super::EventLoop;
 use crate::inventory_client;
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 impl EventLoop {
-    /// Defers a list while it is not known which servers are warming up; true where it does.
+    /// Defers a list while it is not known which servers are warming up. Returns whether it was deferred.
     pub(super) fn defer_endpoints(&mut self, kind: EndpointListKind, listed: &[Endpoint]) -> bool {
         let Some(durable) = &mut self.durable else {
             return false;
@@ -40,7 +40,7 @@
         true
     }
 
-    /// Applies a change to the reconciliation; the default where no store is configured.
+    /// Applies a change to the reconciliation and returns its result; the default if no store is configured.
     pub(super) fn reconcile<T: Default>(
         &mut self,
         change: impl FnOnce(&mut Reconciliation) -> T,
@@ -140,8 +140,8 @@
         self.perform_steps(outcome.steps);
     }
 
-    /// A server whose first inventory comes after service resumed was taken for one that has just started; it
-    /// may have started even later than that.
+    /// Records when a server started. Service may have resumed before its first inventory arrived: then the
+    /// server was assumed to have started at that moment, and it may have started later.
     fn record_server_start(&mut self, server: ServerId, started_at: Time) {
         let Some(durable) = &mut self.durable else {
             return;
@@ -179,7 +179,7 @@
         }
     }
 
-    /// A set-up never ran: its key can be used again.
+    /// A set-up never ran: its key can be opened again.
     fn release_key(&mut self, key: &Key) {
         let Some(durable) = &mut self.durable else {
             return;
@@ -189,7 +189,8 @@
         self.key_resolved(key, "", None);
     }
 
-    /// A set-up ran, or may have: its key is spent. It is written even where the ledger had no entry of it.
+    /// A set-up ran or may have run: its key can't be opened again. This is written even if the ledger had no
+    /// entry of the key.
     fn resolve_key(&mut self, key: &Key, outcome: IntentOutcome, request_outcome: RequestOutcome) {
         let Some(durable) = &mut self.durable else {
             return;
@@ -200,7 +201,7 @@
         self.key_resolved(key, "", Some(request_outcome));
     }
 
-    /// A stage of the return to service; from the paid stage on, service resumes.
+    /// A recovery stage was entered; service resumes with the first one that serves paid classes.
     pub(super) fn recovery_stage_reached(&mut self, stage: RecoveryStage, evidence: StageEvidence) {
         tracing::info!(?stage, reason = ?evidence, "recovery stage reached");
         let durable = self.durable.as_ref();
@@ -210,7 +211,7 @@
         }
     }
 
-    /// Passes all that is known to the core: servers, the sessions that they hold, and the keys that stay
+    /// Passes to the core what reconciliation found: servers, their sessions, and the keys that remain
     /// unresolved.
     fn resume_service(&mut self) {
         let Some(durable) = &mut self.durable else {
@@ -228,9 +229,9 @@
         } in deferred.lists
         {
             for endpoint in &mut endpoints {
-                // Why: after a power loss each server is warming up, while a cached list says that it started
-                // long ago. So a server without an inventory counts as started now. The cost: a warmed-up
-                // server out of reach starts slowly.
+                // Why: after a power loss each server is warming up, while a cached list states that it started
+                // long ago. So a server without an inventory counts as started now. The cost: an unreachable
+                // server that is warmed up gets a slow start.
                 let reported = server_starts.get(&endpoint.server).copied();
                 endpoint.started_at = reported.unwrap_or(endpoint.started_at.max(now));
             }
--- a/crates/daemon/src/event_loop/session_adoption.rs
+++ b/crates/daemon/src/event_loop/session_adoption.rs
@@ -1,4 +1,4 @@
-//! Adoption of sessions that a previous incarnation established and that still play at their servers.
+//! Adoption of sessions that a previous incarnation established and that servers still hold.
 use super::durable_state::{FoundSession, RecoveryPhase};
 use super::EventLoop;
 use crate::config_lookup::{index_of, is_paid_class, tenant_index};
@@ -9,7 +9,7 @@
 use crankpaddle_recovery::{Intent, IntentOutcome};
 use std::sync::Arc;
 
-/// Hexadecimal digits of a bill that stand for the unknown viewer: a 64-bit number.
+/// Hexadecimal digits at the start of a billing identifier that replace the unknown viewer number, of 64 bits.
 const VIEWER_DIGITS: usize = 16;
 
 impl EventLoop {
@@ -24,7 +24,7 @@
         }
     }
 
-    /// Offers a found session to the core; one that the configuration does not cover any more is ended.
+    /// Offers a found session to the core; one whose names are no longer configured is torn down.
     pub(super) fn adopt_found_session(&mut self, found: FoundSession) {
         if let Some(open) = self.open_request(&found.session) {
             return self.offer_found_session(found, open);
@@ -39,7 +39,7 @@
         self.tear_down_found_session(found.server, &found.session.name);
     }
 
-    /// The request that a found session answers, as far as the server knows it; `None` where a name is not
+    /// The request that a found session answers, as far as its inventory states it; `None` if a name is not
     /// configured.
     fn open_request(&self, session: &InventorySession) -> Option<OpenRequest> {
         let config = &self.shared.config;
@@ -83,7 +83,7 @@
         }
     }
 
-    /// The core adopted a found session as this attempt, or has no use for it.
+    /// The core adopted a found session as this attempt, or rejected it.
     pub(super) fn found_session_handled(&mut self, token: u64, attempt: Option<AttemptId>) {
         let Some(durable) = &mut self.durable else {
             return;
--- a/crates/daemon/src/recovered_state.rs
+++ b/crates/daemon/src/recovered_state.rs
@@ -1,10 +1,10 @@
-//! What this front starts from: its name at servers, and the state that its store holds.
+//! The state that this front starts from: its name at servers, and what its store holds.
 use crate::errors::StartError;
 use crate::key_file;
 use crankpaddle_config::Store as StoreConfig;
 use crankpaddle_recovery::{ConservativeBound, PreviousShutdown, RecoveredState, StillValid};
 use crankpaddle_server_protocol::sessions;
-use crankpaddle_store::{Error, OpenedStore, Store};
+use crankpaddle_store::{Error, OpenedStore, QuarantinedFile, Store};
 use std::time::Duration;
 
 /// An opened store, and what it held.
@@ -18,17 +18,17 @@
 
 /// Opens the store.
 ///
-/// Why a failing disk is no error: a front that does not start serves nobody, and one that starts without its
-/// state and sells again what it sold breaks a rule. So it starts, requests inventories from servers, and
+/// Why a failing disk is no error: a front that does not start serves no viewer, and one that starts without
+/// its state could set up a paid session a second time. So it starts, requests inventories from servers, and
 /// rejects paid set-ups.
 ///
 /// # Errors
-/// The key can't be read, or the folder is another process's or a later release's.
+/// The key can't be read, another process has the folder open, or a later release wrote it.
 pub(crate) fn open(config: &StoreConfig) -> Result<OpenedState, StartError> {
     open_with(config, |boot_id| Store::open(&config.dir, boot_id))
 }
 
-/// The same, with `open_store` in place of [`Store::open`]; it is given the identity of the host's boot.
+/// Like [`open`], with `open_store` in place of [`Store::open`]; its argument identifies the host's boot.
 pub(crate) fn open_with(
     config: &StoreConfig,
     open_store: impl FnOnce(&str) -> Result<OpenedStore, Error>,
@@ -60,7 +60,8 @@
     })
 }
 
-/// The identity of the host's boot; one that is never used again where it can't be read.
+/// The identity of the host's boot. If it can't be read, a random one, so that this start counts as after a
+/// power loss.
 fn read_boot_id(config: &StoreConfig) -> String {
     match std::fs::read_to_string(&config.boot_file) {
         Ok(boot_id) => boot_id,
@@ -76,7 +77,7 @@
 }
 
 fn log_opened(config: &StoreConfig, opened: &OpenedStore) {
-    if let Some((path, reason)) = &opened.quarantined {
+    if let Some(QuarantinedFile { path, reason }) = &opened.quarantined {
         tracing::error!(
             path = %path.display(),
             %reason,
--- a/crates/recovery/src/intents/tests.rs
+++ b/crates/recovery/src/intents/tests.rs
@@ -121,3 +121,38 @@
         Some(IntentOutcome::InFlight)
     );
 }
+
+#[test]
+fn a_key_is_resolved_whether_or_not_the_ledger_has_it() {
+    let mut ledger = IntentLedger::new(Duration::from_millis(1000), 10, &[]);
+    begin_attempt(&mut ledger, 1);
+    let begun = ledger.get(&key(1)).cloned().expect("an entry");
+    let uptime = Duration::from_nanos(7_999_999);
+    let completed = Intent {
+        outcome: IntentOutcome::Completed,
+        retained_until: 1007,
+        ..begun
+    };
+    assert_eq!(
+        ledger.resolve(&key(1), IntentOutcome::Completed, uptime),
+        Some(StoreWrite::Put(key(1), completed))
+    );
+    assert_eq!(
+        ledger.resolve(&key(1), IntentOutcome::Completed, uptime),
+        None,
+        "nothing changed"
+    );
+    let unknown = Intent {
+        class: String::new(),
+        server: 0,
+        attempt_name: String::new(),
+        server_incarnation: String::new(),
+        outcome: IntentOutcome::Failed,
+        retained_until: 1007,
+    };
+    assert_eq!(
+        ledger.resolve(&key(2), IntentOutcome::Failed, uptime),
+        Some(StoreWrite::Put(key(2), unknown))
+    );
+    assert_eq!(ledger.len(), 2);
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -16,5 +16,5 @@
 mod writer;
 
 pub use errors::{Corruption, Error};
-pub use open::{OpenedStore, Store};
+pub use open::{OpenedStore, QuarantinedFile, Store};
 pub use writer::{StoreWriter, WriteRequest};
--- a/crates/store/src/open.rs
+++ b/crates/store/src/open.rs
@@ -44,12 +44,21 @@
     pub store: Store,
     /// What previous incarnations persisted.
     pub recovered: RecoveredState,
-    /// The path to which a corrupted database file was moved, and what was wrong with it.
-    pub quarantined: Option<(PathBuf, Error)>,
+    /// The corrupted database file that was moved aside, if there was one.
+    pub quarantined: Option<QuarantinedFile>,
+}
+
+/// A corrupted database file that was moved aside.
+#[derive(Debug)]
+pub struct QuarantinedFile {
+    /// Its new path.
+    pub path: PathBuf,
+    /// What is wrong with its content.
+    pub reason: Error,
 }
 
 impl Store {
-    /// Opens a folder, creates it if it does not exist, and begins an incarnation. `boot_id` differs with each boot of the host.
+    /// Opens a folder, creates it if it does not exist, and begins an incarnation. `boot_id` identifies the present boot of the host.
     ///
     /// # Errors
     /// Another process has the folder open, a later release wrote it, or the disk fails. A corrupted database file is not an error.
@@ -102,7 +111,7 @@
 }
 
 /// Quarantines the database file if the folder's version file is missing or malformed.
-fn quarantine_unversioned(dir: &Path) -> Result<Option<(PathBuf, Error)>, Error> {
+fn quarantine_unversioned(dir: &Path) -> Result<Option<QuarantinedFile>, Error> {
     match version_file::read(dir).map_err(|source| Error::disk(dir, source))? {
         FolderVersion::Number(found) if found > VERSION => Err(Error::NewerVersion {
             dir: dir.to_owned(),
@@ -120,7 +129,7 @@
 fn load_or_replace(
     dir: &Path,
     opener: &DatabaseOpener,
-) -> Result<(LoadedDatabase, Option<(PathBuf, Error)>), Error> {
+) -> Result<(LoadedDatabase, Option<QuarantinedFile>), Error> {
     match database::load(dir, opener) {
         Ok(loaded) => Ok((loaded, None)),
         Err(corrupted @ Error::Corrupted { .. }) => {
@@ -132,7 +141,7 @@
 }
 
 /// Moves the database file aside under a name that is free; people may still need its content. `None`: there is no such file.
-fn quarantine(dir: &Path, reason: Error) -> Result<Option<(PathBuf, Error)>, Error> {
+fn quarantine(dir: &Path, reason: Error) -> Result<Option<QuarantinedFile>, Error> {
     let file = dir.join(DATABASE_FILE_NAME);
     if !file.exists() {
         return Ok(None);
@@ -144,7 +153,10 @@
         return Ok(None);
     };
     fs::rename(&file, &free_path).map_err(|source| Error::disk(dir, source))?;
-    Ok(Some((free_path, reason)))
+    Ok(Some(QuarantinedFile {
+        path: free_path,
+        reason,
+    }))
 }
 
 /// Begins an incarnation on a loaded database.
@@ -153,7 +165,7 @@
     opener: DatabaseOpener,
     loaded: LoadedDatabase,
     boot_id: &str,
-    quarantined: Option<(PathBuf, Error)>,
+    quarantined: Option<QuarantinedFile>,
 ) -> Result<OpenedStore, Error> {
     let LoadedDatabase { database, state } = loaded;
     if state.undecodable_entries > 0 {
--- a/crates/store/tests/folder.rs
+++ b/crates/store/tests/folder.rs
@@ -2,7 +2,7 @@
 mod common;
 use common::{intent, key, put, recovered_entries};
 use crankpaddle_recovery::{IntentOutcome, PreviousShutdown, StoreWrite};
-use crankpaddle_store::{Error, Store, StoreWriter, WriteRequest};
+use crankpaddle_store::{Error, QuarantinedFile, Store, StoreWriter, WriteRequest};
 use crankpaddle_testbed::disk::Poor;
 use std::fs;
 use std::path::Path;
@@ -134,7 +134,7 @@
     for bytes in corrupted {
         fs::write(&file, &bytes).unwrap();
         let opened = Store::open(dir.path(), "a").unwrap();
-        if let Some((path, reason)) = opened.quarantined {
+        if let Some(QuarantinedFile { path, reason }) = opened.quarantined {
             assert!(matches!(reason, Error::Corrupted { .. }), "{reason}");
             assert_eq!(
                 fs::read(&path).unwrap(),
