API: what only the package uses is private, one rule for added and removed properties

asyncapi, openapi, text, the page and the list of items were public without a use outside. property_removed and property_added held the same table twice; the case of a closed object is one function.

Tests of api pass and clippy is clean; cli and daemon check with all targets.

--- a/crates/api/src/conform.rs
+++ b/crates/api/src/conform.rs
@@ -266,8 +266,7 @@
     }
 
     /// All described items, as [`ConformanceReport::unseen`] names them.
-    #[must_use]
-    pub fn items(&self) -> BTreeSet<String> {
+    fn items(&self) -> BTreeSet<String> {
         let mut items: BTreeSet<String> =
             [BATCH_OF_CALLS, BATCH_OF_ANSWERS].map(str::to_owned).into();
         for described in self.calls.iter().chain(&self.notifications) {
--- a/crates/api/src/describe/asyncapi.rs
+++ b/crates/api/src/describe/asyncapi.rs
@@ -14,7 +14,7 @@
 }
 
 /// The AsyncAPI 3.0 document of a version.
-pub fn asyncapi(version: Version) -> Value {
+pub(super) fn asyncapi(version: Version) -> Value {
     let mut schemas = generator();
     let messages = messages(&mut schemas);
     let mut components = Map::new();
--- a/crates/api/src/describe/mod.rs
+++ b/crates/api/src/describe/mod.rs
@@ -5,12 +5,12 @@
 mod messages;
 mod openapi;
 
-pub use asyncapi::asyncapi;
 pub use bodies::{Health, Members, OwnStanding, Peer, PeerState, PeerTurn, State};
 pub use fleet::{Fleet, ReturnStep, ServiceStage, ShutdownKind, StepReason, StoreState};
-pub use openapi::openapi;
 
+use asyncapi::asyncapi;
 use crankpaddle_session_api::Version;
+use openapi::openapi;
 use schemars::generate::SchemaSettings;
 use schemars::{JsonSchema, SchemaGenerator};
 use serde_json::Value;
@@ -80,7 +80,7 @@
 }
 
 /// The committed form of a document: sorted, indented, with one newline at its end.
-pub fn text(document: &Value) -> String {
+fn text(document: &Value) -> String {
     serde_json::to_string_pretty(document).unwrap_or_default() + "\n"
 }
 
--- a/crates/api/src/describe/openapi.rs
+++ b/crates/api/src/describe/openapi.rs
@@ -119,7 +119,7 @@
 }
 
 /// The OpenAPI 3.1 document.
-pub fn openapi() -> Value {
+pub(super) fn openapi() -> Value {
     let mut schemas = generator();
     let mut paths = Map::new();
     for group in [state_paths(&mut schemas), session_paths()] {
--- a/crates/api/src/diff/schemas.rs
+++ b/crates/api/src/diff/schemas.rs
@@ -114,8 +114,14 @@
                     self.requirement(sender, &place, required);
                     self.schema(sender, &place, old, new);
                 }
-                (Some(_), None) => self.property_removed(sender, &place, name, before, after),
-                (None, Some(_)) => self.property_added(sender, &place, name, before, after),
+                (Some(_), None) => {
+                    let required = requires(before, name);
+                    self.property_removed(sender, &place, required, is_closed(after));
+                }
+                (None, Some(_)) => {
+                    let required = requires(after, name);
+                    self.property_added(sender, &place, required, is_closed(before));
+                }
                 (None, None) => {}
             }
         }
@@ -130,51 +136,47 @@
         }
     }
 
-    fn property_removed(
-        &mut self,
-        sender: Sender,
-        place: &str,
-        name: &str,
-        before: &Value,
-        after: &Value,
-    ) {
-        let required = requires(before, name);
-        let set = match (required, is_closed(after)) {
-            (true, true) => Set::Other,
-            (false, true) => Set::Narrower,
-            (_, false) => Set::Wider, // Any value of the property is allowed now.
-        };
+    fn property_removed(&mut self, sender: Sender, place: &str, required: bool, is_closed: bool) {
         let what = if required {
             "a needed property is gone"
         } else {
             "is gone"
         };
+        // In an open object any value of the property is allowed now.
+        let set = if is_closed {
+            set_in_closed_object(required, Set::Narrower)
+        } else {
+            Set::Wider
+        };
         self.found(sender, place, set, what);
     }
 
-    fn property_added(
-        &mut self,
-        sender: Sender,
-        place: &str,
-        name: &str,
-        before: &Value,
-        after: &Value,
-    ) {
-        let required = requires(after, name);
-        let set = match (required, is_closed(before)) {
-            (true, true) => Set::Other,
-            (false, true) => Set::Wider,
-            (_, false) => Set::Narrower, // Any value of the property was allowed before.
-        };
+    fn property_added(&mut self, sender: Sender, place: &str, required: bool, was_closed: bool) {
         let what = if required {
             "new, and must be there"
         } else {
             "new, optional"
         };
+        // In an open object any value of the property was allowed before.
+        let set = if was_closed {
+            set_in_closed_object(required, Set::Wider)
+        } else {
+            Set::Narrower
+        };
         self.found(sender, place, set, what);
     }
 }
 
+/// How the set of a closed object changes when a property is added or removed. If the property is required, no object is allowed both
+/// before and after.
+fn set_in_closed_object(required: bool, set_if_optional: Set) -> Set {
+    if required {
+        Set::Other
+    } else {
+        set_if_optional
+    }
+}
+
 /// Whether an object can have no other properties than those listed.
 fn is_closed(schema: &Value) -> bool {
     schema["additionalProperties"] == false
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -4,7 +4,7 @@
 //! - [`conform`]: checks whether recorded traffic and the published documents agree, in both directions;
 //! - [`diff`]: classifies the changes of a description by their effect on old clients and old servers;
 //! - [`cost`]: measures the cost of checking a call;
-//! - [`page`]: renders both documents as a page that can be read offline.
+//! - `page`: renders both documents as a page that can be read offline.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 pub mod conform;
@@ -12,7 +12,7 @@
 pub mod describe;
 pub mod diff;
 mod errors;
-pub mod page;
+mod page;
 
 pub use errors::ApiError;
 
--- a/crates/api/src/page.rs
+++ b/crates/api/src/page.rs
@@ -106,7 +106,7 @@
 }
 
 /// The page for an AsyncAPI and an OpenAPI document.
-pub fn html(asyncapi: &Value, openapi: &Value) -> String {
+pub(crate) fn html(asyncapi: &Value, openapi: &Value) -> String {
     let mut out = String::from(HEAD);
     title(&mut out, &asyncapi["info"]);
     messages(&mut out, asyncapi, "call", "What players call");
