--- a/crates/api/tests/codec.rs
+++ b/crates/api/tests/codec.rs
@@ -1,4 +1,5 @@
-//! The front's codec and the published schemas come to the same verdict on calls: made from the schemas, and nearly so.
+//! The front's codec accepts a call if and only if the published schemas allow it. The calls are generated from the schemas; most of
+//! them are then altered.
 use crankpaddle_api::conform::ConformanceChecker;
 use crankpaddle_session_api::jsonrpc::{self, Message};
 use crankpaddle_session_api::methods::Method;
@@ -8,8 +9,8 @@
 
 const RUNS: u64 = 20_000;
 
-/// The front's verdict: a call with an id whose method takes its parameters.
-fn codec_takes(text: &str) -> bool {
+/// Whether the front's codec accepts a text as a call with an id.
+fn codec_accepts(text: &str) -> bool {
     match jsonrpc::read(text) {
         Message::One(Ok(call)) => {
             call.id.is_some() && Method::of(&call.method, call.params).is_ok()
@@ -21,23 +22,24 @@
 fn resolved<'v>(document: &'v Value, schema: &'v Value) -> &'v Value {
     let target = schema["$ref"]
         .as_str()
-        .and_then(|r| document.pointer(&r[1..]));
+        .and_then(|reference| document.pointer(&reference[1..]));
     target.map_or(schema, |target| resolved(document, target))
 }
 
-fn text(rng: &mut StdRng, least: usize, most: usize) -> String {
+/// A random text within these lengths, which are more likely than the others.
+fn random_text(rng: &mut StdRng, min_length: usize, max_length: usize) -> String {
     let length = if rng.random_bool(0.2) {
-        [least, most][rng.random_range(0..2)]
+        [min_length, max_length][rng.random_range(0..2)]
     } else {
-        rng.random_range(least..=most)
+        rng.random_range(min_length..=max_length)
     };
     (0..length)
         .map(|_| ['a', '0', '-', '\u{e9}', '\u{1f600}', ' '][rng.random_range(0..6)])
         .collect()
 }
 
-/// A value that a schema allows.
-fn made(document: &Value, schema: &Value, rng: &mut StdRng) -> Value {
+/// A random value that a schema allows.
+fn random_value(document: &Value, schema: &Value, rng: &mut StdRng) -> Value {
     let schema = resolved(document, schema);
     if let Some(value) = schema.get("const") {
         return value.clone();
@@ -47,35 +49,38 @@
         Value::Array(kinds) => kinds.iter().filter_map(Value::as_str).collect(),
         _ => vec!["null"],
     };
-    let number = |word: &str, usual: u64| schema[word].as_f64().map_or(usual, |n| n as u64);
+    let limit = |keyword: &str, default: u64| {
+        let stated = schema[keyword].as_f64();
+        stated.map_or(default, |number| number as u64)
+    };
     match kinds[rng.random_range(0..kinds.len())] {
         "object" => {
             let required = schema["required"].as_array().cloned().unwrap_or_default();
             let mut fields = Map::new();
             for (name, inner) in schema["properties"].as_object().unwrap() {
-                if required.iter().any(|r| r == name) || rng.random_bool(0.5) {
-                    fields.insert(name.clone(), made(document, inner, rng));
+                if required.contains(&json!(name)) || rng.random_bool(0.5) {
+                    fields.insert(name.clone(), random_value(document, inner, rng));
                 }
             }
             Value::Object(fields)
         }
-        "string" => text(
+        "string" => random_text(
             rng,
-            number("minLength", 0) as usize,
-            number("maxLength", 20) as usize,
+            limit("minLength", 0) as usize,
+            limit("maxLength", 20) as usize,
         )
         .into(),
         "integer" | "number" => {
-            let (least, most) = (number("minimum", 0), number("maximum", 1000));
-            let n = if rng.random_bool(0.3) {
-                [least, most][rng.random_range(0..2)]
+            let (min, max) = (limit("minimum", 0), limit("maximum", 1000));
+            let number = if rng.random_bool(0.3) {
+                [min, max][rng.random_range(0..2)]
             } else {
-                rng.random_range(least..=most)
+                rng.random_range(min..=max)
             };
             if rng.random_bool(0.1) {
-                json!(n as f64)
+                json!(number as f64)
             } else {
-                json!(n)
+                json!(number)
             }
         }
         "boolean" => rng.random_bool(0.5).into(),
@@ -83,44 +88,44 @@
     }
 }
 
-/// Another value than the one that stands there; often one that is nearly right.
-fn another(value: &Value, rng: &mut StdRng) -> Value {
-    let nearly = match value {
-        Value::Number(n) => {
-            let n = n.as_f64().unwrap();
+/// A value that replaces this one: null, or one that is similar.
+fn altered_value(value: &Value, rng: &mut StdRng) -> Value {
+    let similar = match value {
+        Value::Number(number) => {
+            let number = number.as_f64().unwrap();
             [
-                json!(n + 0.5),
+                json!(number + 0.5),
                 json!(-1),
                 json!(256),
                 json!(9_007_199_254_740_992u64),
                 json!(u64::MAX),
                 json!(1e30),
-                json!(n.to_string()),
+                json!(number.to_string()),
             ][rng.random_range(0..7)]
             .clone()
         }
-        Value::String(s) => match rng.random_range(0..4) {
-            0 => json!(format!("{s}{}", "x".repeat(130))),
-            1 => json!(s.chars().take(7).collect::<String>()),
-            2 => json!([s]),
-            _ => json!(s.to_uppercase()),
+        Value::String(text) => match rng.random_range(0..4) {
+            0 => json!(format!("{text}{}", "x".repeat(130))),
+            1 => json!(text.chars().take(7).collect::<String>()),
+            2 => json!([text]),
+            _ => json!(text.to_uppercase()),
         },
-        Value::Bool(b) => {
-            [json!(b.to_string()), json!(u8::from(*b))][rng.random_range(0..2)].clone()
+        Value::Bool(flag) => {
+            [json!(flag.to_string()), json!(u8::from(*flag))][rng.random_range(0..2)].clone()
         }
         _ => json!({}),
     };
     if rng.random_bool(0.25) {
         Value::Null
     } else {
-        nearly
+        similar
     }
 }
 
-/// Changes something, somewhere.
-fn changed(value: &mut Value, rng: &mut StdRng) {
+/// Alters one value or member at a random place.
+fn alter(value: &mut Value, rng: &mut StdRng) {
     let Value::Object(fields) = value else {
-        *value = another(value, rng);
+        *value = altered_value(value, rng);
         return;
     };
     let names: Vec<String> = fields.keys().cloned().collect();
@@ -132,7 +137,7 @@
             let inner = fields
                 .get_mut(&names[rng.random_range(0..names.len())])
                 .unwrap();
-            changed(inner, rng);
+            alter(inner, rng);
         }
         _ => {}
     }
@@ -149,25 +154,28 @@
         let seed = 2026;
         println!("seed {seed}");
         let mut rng = StdRng::seed_from_u64(seed);
-        let (mut taken, mut refused) = (0, 0);
-        for n in 0..RUNS {
-            let mut call = made(&document, &calls[n as usize % 3], &mut rng);
-            if n % 3 > 0 || rng.random_bool(0.5) {
-                (0..rng.random_range(0..3)).for_each(|_| changed(&mut call, &mut rng));
+        let (mut accepted, mut rejected) = (0, 0);
+        for run in 0..RUNS {
+            let mut call = random_value(&document, &calls[run as usize % 3], &mut rng);
+            if run % 3 > 0 || rng.random_bool(0.5) {
+                for _ in 0..rng.random_range(0..3) {
+                    alter(&mut call, &mut rng);
+                }
             }
-            let said = call.to_string();
-            // As it was read: a text's fraction at the end of what a float holds may be lost in reading it.
-            let read: Value = serde_json::from_str(&said).unwrap();
-            let (codec, described) = (codec_takes(&said), checker.allows_call(&read));
+            let text = call.to_string();
+            // The schemas get the call as it is parsed: parsing may lose the last digits of a number.
+            let parsed: Value = serde_json::from_str(&text).unwrap();
+            let codec = codec_accepts(&text);
+            let described = checker.allows_call(&parsed);
             assert_eq!(
                 codec, described,
-                "codec {codec}, description {described}: {said}"
+                "codec {codec}, description {described}: {text}"
             );
-            *(if codec { &mut taken } else { &mut refused }) += 1;
+            *(if codec { &mut accepted } else { &mut rejected }) += 1;
         }
         assert!(
-            taken > RUNS / 5 && refused > RUNS / 5,
-            "{taken} taken, {refused} refused: one side is hardly tried"
+            accepted > RUNS / 5 && rejected > RUNS / 5,
+            "{accepted} accepted, {rejected} rejected: one side is hardly tried"
         );
     }
 }
