--- a/crates/daemon/src/event_loop/durable_state.rs
+++ b/crates/daemon/src/event_loop/durable_state.rs
@@ -1,17 +1,16 @@
-//! What the event loop owns where a store is configured: the ledger of paid set-ups, and the state of
-//! recovery.
-use super::MILLISECOND;
+//! The state of paid set-ups and of recovery, which the event loop owns if a store is configured.
 use crate::attempt_sender::SetUpRequest;
 use crankpaddle_api::describe::Fleet;
-use crankpaddle_front::{AttemptId, Endpoint, EndpointListKind, ServerId};
+use crankpaddle_front::{AttemptId, Endpoint, EndpointListKind, ServerId, Time};
 use crankpaddle_net::clock;
 use crankpaddle_recovery::reconciliation::InventorySession;
 use crankpaddle_recovery::{IntentLedger, Reconciliation, StoreWrite};
 use crankpaddle_store::{StoreWriter, WriteRequest};
 use std::collections::{BTreeMap, HashMap};
 use std::thread::JoinHandle;
+use std::time::Duration;
 
-/// A list that came before reconciliation was complete.
+/// An endpoint list that arrived before reconciliation was complete.
 pub(super) struct DeferredList {
     pub(super) kind: EndpointListKind,
     pub(super) endpoints: Vec<Endpoint>,
@@ -23,18 +22,18 @@
     pub(super) session: InventorySession,
 }
 
-/// What waits until service resumes.
+/// What is handled when service resumes.
 #[derive(Default)]
 pub(super) struct Deferred {
     pub(super) lists: Vec<DeferredList>,
     pub(super) sessions: Vec<FoundSession>,
 }
 
-/// How far the return to service is, as far as the event loop acts on it.
+/// The phase of recovery, as far as the event loop depends on it.
 pub(super) enum RecoveryPhase {
-    /// It is not known yet what previous incarnations left at servers.
+    /// It is not known yet which sessions and set-ups of previous incarnations are at servers.
     Reconciling(Deferred),
-    /// Lists and found sessions are handled as they come.
+    /// Lists and found sessions are handled as they arrive.
     Resumed,
 }
 
@@ -44,18 +43,18 @@
     /// `None`: the disk failed at the start, so nothing paid is set up.
     pub(super) writer: Option<StoreWriter>,
     pub(super) reconciliation: Reconciliation,
-    /// Clock time of the start of this incarnation, nanoseconds.
-    pub(super) started_at: u64,
-    /// Uptime of all previous incarnations together, milliseconds.
-    pub(super) previous_uptime_ms: u64,
+    /// When this incarnation started.
+    pub(super) started_at: Time,
+    /// Uptime of all previous incarnations together.
+    pub(super) previous_uptime: Duration,
     /// Set-ups that are sent when their intent is on disk.
     pub(super) pending_sends: HashMap<AttemptId, SetUpRequest>,
     pub(super) phase: RecoveryPhase,
-    /// Passed to the core, which has not decided yet; by token.
+    /// Found sessions that were passed to the core and not decided on yet, by token.
     pub(super) sessions_in_adoption: HashMap<u64, FoundSession>,
     pub(super) last_token: u64,
     /// When servers started, by the age that their inventories state.
-    pub(super) server_starts: BTreeMap<ServerId, u64>,
+    pub(super) server_starts: BTreeMap<ServerId, Time>,
     pub(super) maintenance_rounds: u64,
     pub(super) stored_fleet_size: u32,
     /// The part of the status that does not change in this incarnation.
@@ -65,7 +64,7 @@
 }
 
 impl DurableState {
-    /// Queues writes that nobody waits for.
+    /// Queues writes whose durability no set-up waits for.
     pub(super) fn write(&self, writes: impl IntoIterator<Item = StoreWrite>) {
         let writes: Vec<StoreWrite> = writes.into_iter().collect();
         if writes.is_empty() {
@@ -83,15 +82,14 @@
         matches!(self.phase, RecoveryPhase::Reconciling(_))
     }
 
-    /// Uptime of all incarnations together, milliseconds.
-    pub(super) fn uptime_ms(&self) -> u64 {
-        self.previous_uptime_ms
-            + clock::now().as_nanos().saturating_sub(self.started_at) / MILLISECOND
+    /// Uptime of all incarnations together.
+    pub(super) fn uptime(&self) -> Duration {
+        self.previous_uptime + clock::now().duration_since(self.started_at)
     }
 
-    /// Writes the uptime, and where the shutdown is clean, that it was; returns the thread that writes.
+    /// Writes the uptime and, if the shutdown is clean, its mark. Returns the writing thread, to be joined.
     pub(super) fn finish(self, is_clean: bool) -> Option<JoinHandle<()>> {
-        let mut writes = vec![StoreWrite::Uptime(self.uptime_ms())];
+        let mut writes = vec![StoreWrite::Uptime(self.uptime())];
         if is_clean {
             writes.push(StoreWrite::CleanShutdown);
         }
--- a/crates/daemon/src/event_loop/previous_incarnation.rs
+++ b/crates/daemon/src/event_loop/previous_incarnation.rs
@@ -1,17 +1,18 @@
-//! The start from a store: what the previous incarnations of this front left is passed to the core.
+//! The start from a store: passes the state of previous incarnations to the core.
 use super::durable_state::{Deferred, DurableState, RecoveryPhase};
-use super::{EventLoop, MILLISECOND};
+use super::EventLoop;
 use crate::config_lookup::{index_of, tenant_index};
 use crate::message::Message;
 use crate::recovered_state::OpenedState;
-use crankpaddle_api::describe::{Fleet, Former};
-use crankpaddle_front::{keys::RequestOutcome, AttemptId, Input, PreviousShutdown, StagedRecovery};
+use crankpaddle_api::describe::Fleet;
+use crankpaddle_front::{
+    keys::RequestOutcome, AttemptId, Input, PreviousShutdown, StagedRecovery, Time,
+};
 use crankpaddle_net::clock;
 use crankpaddle_recovery::{
     Intent, IntentLedger, IntentOutcome, Key, Reconciliation, RecoveredState,
 };
 use crankpaddle_store::{Store, StoreWriter};
-use crankpaddle_time::nanoseconds;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
@@ -19,12 +20,12 @@
 const UNKNOWN_CLASS: u8 = u8::MAX;
 
 impl EventLoop {
-    /// Passes the recovered state to the core: the stages in which service returns, and each paid key.
+    /// Starts the staged recovery in the core and passes each paid key of previous incarnations to it.
     pub(super) fn resume_previous_incarnation(&mut self, opened: OpenedState) {
         let Some(store_config) = &self.shared.config.store else {
             return;
         };
-        let now = clock::now().as_nanos();
+        let now = clock::now();
         let recovered = &opened.recovered;
         let mut recovery = StagedRecovery::new(store_config.steps, now);
         recovery.start_reading(now);
@@ -44,7 +45,7 @@
 
     fn durable_state(
         &self,
-        now: u64,
+        now: Time,
         front_name: String,
         recovered: &RecoveredState,
         store: Option<Store>,
@@ -53,14 +54,14 @@
         let intents = &recovered.intents.0;
         DurableState {
             ledger: IntentLedger::new(
-                nanoseconds(core_config.key_retention) / MILLISECOND,
+                core_config.key_retention,
                 core_config.max_retained_keys,
                 intents,
             ),
             writer: store.map(|store| self.start_writer(store)),
             reconciliation: Reconciliation::new(intents),
             started_at: now,
-            previous_uptime_ms: recovered.uptime_ms.0,
+            previous_uptime: recovered.uptime.0,
             pending_sends: HashMap::new(),
             phase: first_phase(recovered.shutdown),
             sessions_in_adoption: HashMap::new(),
@@ -71,7 +72,7 @@
             base_status: Fleet {
                 name: front_name,
                 epoch: recovered.epoch.0,
-                former: shutdown_status(recovered.shutdown), // The name in `GET /fleet`.
+                previous_shutdown: recovered.shutdown.into(),
                 ..Fleet::default()
             },
             is_write_failing: false,
@@ -114,8 +115,8 @@
         });
     }
 
-    /// Passes the core the outcome of a paid key; `None`: its set-up never ran. Keys of removed tenants are
-    /// dropped.
+    /// Passes the outcome of a paid key to the core; `None`: its set-up never ran. Keys of tenants that are no
+    /// longer configured are dropped.
     pub(super) fn key_resolved(&mut self, key: &Key, class: &str, outcome: Option<RequestOutcome>) {
         let config = &self.shared.config;
         let Some(tenant) = tenant_index(config, &key.tenant) else {
@@ -139,7 +140,7 @@
     }
 }
 
-/// After a clean shutdown nothing is left at servers.
+/// After a clean shutdown servers hold nothing of the previous incarnation, so there is nothing to reconcile.
 fn first_phase(shutdown: PreviousShutdown) -> RecoveryPhase {
     match shutdown {
         PreviousShutdown::Clean => RecoveryPhase::Resumed,
@@ -148,13 +149,3 @@
         }
     }
 }
-
-/// How the previous incarnation ended, in the terms of `GET /fleet`.
-fn shutdown_status(shutdown: PreviousShutdown) -> Former {
-    match shutdown {
-        PreviousShutdown::Unknown => Former::Unknown,
-        PreviousShutdown::Clean => Former::EndedInOrder,
-        PreviousShutdown::Killed => Former::Killed,
-        PreviousShutdown::PowerLost => Former::PowerLost,
-    }
-}
--- a/crates/daemon/src/event_loop/reconciliation.rs
+++ b/crates/daemon/src/event_loop/reconciliation.rs
@@ -1,20 +1,21 @@
-//! Reconciliation with the servers: which set-ups of a previous incarnation ran, and which sessions still
-//! play.
+//! Reconciliation with the servers: which set-ups of a previous incarnation ran, and which of its sessions are
+//! still established.
 use super::durable_state::{DeferredList, DurableState, FoundSession, RecoveryPhase};
-use super::{EventLoop, MILLISECOND};
+use super::EventLoop;
 use crate::inventory_client;
 use crankpaddle_front::{
     keys::RequestOutcome, Endpoint, EndpointListKind, Input, Lifecycle, RecoveryStage, ServerId,
     StageEvidence, Time,
 };
 use crankpaddle_net::clock;
+use crankpaddle_recovery::intents::milliseconds;
 use crankpaddle_recovery::reconciliation::{ReconciliationStep, Resolution};
-use crankpaddle_recovery::{Intent, IntentOutcome, Key, Reconciliation};
+use crankpaddle_recovery::{IntentOutcome, Key, Reconciliation};
 use crankpaddle_server_protocol::session_inventory::SessionInventory;
-use crankpaddle_time::nanoseconds;
+use std::time::Duration;
 
 impl EventLoop {
-    /// Defers a list while it is not known which servers are warming up; true where it does.
+    /// Defers a list while it is not known which servers are warming up. Returns whether it was deferred.
     pub(super) fn defer_endpoints(&mut self, kind: EndpointListKind, listed: &[Endpoint]) -> bool {
         let Some(durable) = &mut self.durable else {
             return false;
@@ -39,7 +40,7 @@
         true
     }
 
-    /// Applies a change to the reconciliation; the default where no store is configured.
+    /// Applies a change to the reconciliation and returns its result; the default if no store is configured.
     pub(super) fn reconcile<T: Default>(
         &mut self,
         change: impl FnOnce(&mut Reconciliation) -> T,
@@ -113,8 +114,7 @@
     }
 
     pub(super) fn inventory_received(&mut self, server: ServerId, inventory: SessionInventory) {
-        let age = inventory.age_ms.saturating_mul(MILLISECOND);
-        let started_at = clock::now().as_nanos().saturating_sub(age);
+        let started_at = clock::now() - Duration::from_millis(inventory.age_ms);
         if let (Some(state), Some(incarnation)) =
             (self.servers.get_mut(&server), inventory.boots.last())
         {
@@ -129,7 +129,7 @@
         });
         tracing::info!(
             server_id = server.0,
-            age_ms = (clock::now().as_nanos() - started_at) / MILLISECOND,
+            age_ms = milliseconds(clock::now().duration_since(started_at)),
             resolutions = ?outcome.resolutions,
             "session inventory received"
         );
@@ -140,15 +140,15 @@
         self.perform_steps(outcome.steps);
     }
 
-    /// A server whose first inventory comes after service resumed was taken for one that has just started; it
-    /// may have started even later than that.
-    fn record_server_start(&mut self, server: ServerId, started_at: u64) {
+    /// Records when a server started. Service may have resumed before its first inventory arrived: then the
+    /// server was assumed to have started at that moment, and it may have started later.
+    fn record_server_start(&mut self, server: ServerId, started_at: Time) {
         let Some(durable) = &mut self.durable else {
             return;
         };
         let is_first = durable.server_starts.insert(server, started_at).is_none();
         if is_first && !durable.is_reconciling() {
-            self.server_started(server, Time(started_at));
+            self.server_started(server, started_at);
         }
     }
 
@@ -179,7 +179,7 @@
         }
     }
 
-    /// A set-up never ran: its key can be used again.
+    /// A set-up never ran: its key can be opened again.
     fn release_key(&mut self, key: &Key) {
         let Some(durable) = &mut self.durable else {
             return;
@@ -189,31 +189,19 @@
         self.key_resolved(key, "", None);
     }
 
-    /// A set-up ran, or may have: its key is spent. It is written even where the ledger had no entry of it.
+    /// A set-up ran or may have run: its key can't be opened again. This is written even if the ledger had no
+    /// entry of the key.
     fn resolve_key(&mut self, key: &Key, outcome: IntentOutcome, request_outcome: RequestOutcome) {
-        let retention_ms = nanoseconds(self.shared.config.terms.key_retention) / MILLISECOND;
         let Some(durable) = &mut self.durable else {
             return;
         };
-        let uptime_ms = durable.uptime_ms();
-        let write = if durable.ledger.get(key).is_some() {
-            durable.ledger.set_outcome(key, outcome, uptime_ms)
-        } else {
-            let intent = Intent {
-                class: String::new(),
-                server: 0,
-                attempt_name: String::new(),
-                server_incarnation: String::new(),
-                outcome,
-                retained_until: uptime_ms.saturating_add(retention_ms),
-            };
-            Some(durable.ledger.insert_recovered(key.clone(), intent))
-        };
+        let uptime = durable.uptime();
+        let write = durable.ledger.resolve(key, outcome, uptime);
         durable.write(write);
         self.key_resolved(key, "", Some(request_outcome));
     }
 
-    /// A stage of the return to service; from the paid stage on, service resumes.
+    /// A recovery stage was entered; service resumes with the first one that serves paid classes.
     pub(super) fn recovery_stage_reached(&mut self, stage: RecoveryStage, evidence: StageEvidence) {
         tracing::info!(?stage, reason = ?evidence, "recovery stage reached");
         let durable = self.durable.as_ref();
@@ -223,7 +211,7 @@
         }
     }
 
-    /// Passes all that is known to the core: servers, the sessions that they hold, and the keys that stay
+    /// Passes to the core what reconciliation found: servers, their sessions, and the keys that remain
     /// unresolved.
     fn resume_service(&mut self) {
         let Some(durable) = &mut self.durable else {
@@ -234,17 +222,17 @@
             return;
         };
         let server_starts = durable.server_starts.clone();
-        let now = Time(clock::now().as_nanos());
+        let now = clock::now();
         for DeferredList {
             kind,
             mut endpoints,
         } in deferred.lists
         {
             for endpoint in &mut endpoints {
-                // Why: after a power loss each server is warming up, while a cached list says that it started
-                // long ago. So a server without an inventory counts as started now. The cost: a warmed-up
-                // server out of reach starts slowly.
-                let reported = server_starts.get(&endpoint.server).copied().map(Time);
+                // Why: after a power loss each server is warming up, while a cached list states that it started
+                // long ago. So a server without an inventory counts as started now. The cost: an unreachable
+                // server that is warmed up gets a slow start.
+                let reported = server_starts.get(&endpoint.server).copied();
                 endpoint.started_at = reported.unwrap_or(endpoint.started_at.max(now));
             }
             self.handle_core_input(Input::EndpointList(kind, endpoints));
--- a/crates/front/src/core/actions.rs
+++ b/crates/front/src/core/actions.rs
@@ -73,7 +73,7 @@
         if self.stage() == RecoveryStage::PaidOnly && class.is_some_and(|class| self.is_paid(class))
         {
             self.staged_recovery
-                .paid_rejected(self.now.0, retry_after_ns);
+                .paid_rejected(self.now, Duration::from_nanos(retry_after_ns));
         }
         let reason = if class.is_some_and(|class| self.is_cross_zone_forbidden(class)) {
             RejectReason::CrossZoneForbidden
