--- a/crates/config/src/check/budgets.rs
+++ b/crates/config/src/check/budgets.rs
@@ -6,7 +6,6 @@
 use crankpaddle_cross_zone_traffic::cross_zone_admission::CrossZoneLimit;
 use crankpaddle_textproto::Unit;
 use std::collections::HashMap;
-use std::time::Duration;
 
 /// The traffic that a budget limits, as indices; `None` for an unknown zone, and for all classes.
 #[derive(Clone, Copy, PartialEq, Eq, Hash)]
@@ -82,16 +81,14 @@
         let mut period = None;
         if has_volume {
             volume_bytes = self.size(&path("volume"), &budget.volume) as f64;
-            period = Some(Duration::from_nanos(
-                self.time(&path("period"), &budget.period),
-            ));
+            period = Some(self.duration(&path("period"), &budget.period));
         }
         SharedBudget {
             rate_kb,
             burst_bytes,
             volume_bytes,
             period,
-            max_repayment_time: Duration::from_nanos(self.time(&path("repay"), budget.repay())),
+            max_repayment_time: self.duration(&path("repay"), budget.repay()),
         }
     }
 }
--- a/crates/config/src/check/store.rs
+++ b/crates/config/src/check/store.rs
@@ -32,12 +32,10 @@
 
     fn stage_timeouts(&mut self, store: &schema::Store, warm_up: Duration) -> StageTimeouts {
         StageTimeouts {
-            reconciliation_timeout: Duration::from_nanos(
-                self.time("store[0].settle", store.settle()),
-            ),
-            paid_quiet_period: Duration::from_nanos(self.time("store[0].calm", store.calm())),
+            reconciliation_timeout: self.duration("store[0].settle", store.settle()),
+            paid_quiet_period: self.duration("store[0].calm", store.calm()),
             paid_only_timeout: match &store.paid_first {
-                Some(time) => Duration::from_nanos(self.time("store[0].paid_first", time)),
+                Some(time) => self.duration("store[0].paid_first", time),
                 None => warm_up,
             },
             warm_up_duration: warm_up,
--- a/crates/daemon/src/event_loop/mod.rs
+++ b/crates/daemon/src/event_loop/mod.rs
@@ -49,8 +49,6 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-/// Nanoseconds.
-const MILLISECOND: u64 = 1_000_000;
 /// Links, pools and budgets are maintained this often.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
 /// Messages handled before timers are checked, so that a flood of messages can't hold up answers that are
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,10 +18,9 @@
 //! - `recovered_state`: what previous incarnations left, and the front's name; `inventory_client`: what
 //!   servers hold of them;
 //! - `traffic`: cross-zone traffic; `persistence_thread`: files that are replaced as a whole;
-//! - `names`, `config_lookup`: names and numbers; `atomic_time`, `backoff`, `key_file`, `errors`.
+//! - `names`, `config_lookup`: names and numbers; `backoff`, `key_file`, `errors`.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
-mod atomic_time;
 mod attempt_sender;
 mod backoff;
 mod config_lookup;
--- a/crates/daemon/src/player.rs
+++ b/crates/daemon/src/player.rs
@@ -1,12 +1,11 @@
 //! A player's connection, shared by the event loop and the coroutine that reads it: pending calls, and what
 //! is sent.
-use crate::atomic_time::AtomicTime;
 use crankpaddle_front::{PlayerId, RequestId};
 use crankpaddle_net::{clock, Socket, WriteBuffer};
 use crankpaddle_session_api::calls::Calls;
 use crankpaddle_session_api::jsonrpc::Id;
 use crankpaddle_session_api::Version;
-use crankpaddle_time::Time;
+use crankpaddle_time::{AtomicTime, Time};
 use serde_json::Value;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/crates/daemon/src/server_link/mod.rs
+++ b/crates/daemon/src/server_link/mod.rs
@@ -6,12 +6,11 @@
 mod controls;
 mod stream;
 
-use crate::atomic_time::AtomicTime;
 use crate::shared::Shared;
 use controls::{Control, Target};
 use crankpaddle_front::ServerId;
 use crankpaddle_net::{clock, spawn, Socket, Stack};
-use crankpaddle_time::Time;
+use crankpaddle_time::{AtomicTime, Time};
 use may::sync::mpsc;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -3,14 +3,14 @@
 mod deferred_free;
 
 use crate::clock;
-use crankpaddle_time::Time;
+use crankpaddle_time::{AtomicTime, Time};
 use may::io::WaitIo;
 use may::net::TcpStream;
 use std::io::{self, ErrorKind, Read, Write};
 use std::mem::ManuallyDrop;
 use std::net::{Shutdown, SocketAddr};
 use std::os::fd::AsRawFd;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// Requests the bytes of a TCP connection that the kernel has not sent yet (Linux, `linux/sockios.h`).
@@ -32,8 +32,7 @@
 /// A TCP connection.
 pub struct Socket {
     stream: ManuallyDrop<Box<TcpStream>>, // Taken out once, on drop.
-    /// Nanoseconds of [`clock::now`].
-    expires_at: AtomicU64,
+    expires_at: AtomicTime,
     closed: AtomicBool,
 }
 
@@ -54,7 +53,7 @@
         let _ = stream.set_nodelay(true); // Without it, it is only slower.
         Socket {
             stream: ManuallyDrop::new(Box::new(stream)),
-            expires_at: AtomicU64::new(Time::MAX.as_nanos()),
+            expires_at: AtomicTime::new(Time::MAX),
             closed: AtomicBool::new(false),
         }
     }
@@ -217,7 +216,7 @@
 
     /// Sets when [`Socket::expire`] closes the connection; [`Time::MAX`] for never.
     pub fn set_expiry(&self, at: Time) {
-        self.expires_at.store(at.as_nanos(), Ordering::Release);
+        self.expires_at.store(at, Ordering::Release);
     }
 
     /// Closes the connection if it has expired and nothing is unread.
@@ -234,7 +233,7 @@
     /// Whether it has expired.
     #[must_use]
     pub fn is_expired(&self, now: Time) -> bool {
-        now.as_nanos() >= self.expires_at.load(Ordering::Acquire)
+        now >= self.expires_at.load(Ordering::Acquire)
     }
 }
 
--- a/crates/node/src/viewer_connection.rs
+++ b/crates/node/src/viewer_connection.rs
@@ -1,7 +1,7 @@
 //! A viewer's connection as all parts of the node see it, and the work that is pending on it.
 use crankpaddle_net::WriteBuffer;
-use crankpaddle_time::Time;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use crankpaddle_time::{AtomicTime, Time};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 /// A viewer's connection; never used twice.
@@ -27,12 +27,12 @@
     pub(crate) pending_set_ups: AtomicUsize,
     /// Whether a message is partially received.
     pub(crate) has_partial_message: AtomicBool,
-    /// Until when the viewer waits for what is in the outbox, nanoseconds of the clock.
-    output_deadline: AtomicU64,
+    /// Until when the viewer waits for what is in the outbox.
+    output_deadline: AtomicTime,
     /// Whether a complete message was received.
     pub(crate) has_sent_message: AtomicBool,
-    /// When something last came of it, nanoseconds of the clock.
-    last_used: AtomicU64,
+    /// When something last came of it.
+    last_used: AtomicTime,
 }
 
 impl ViewerConnection {
@@ -43,29 +43,28 @@
             queued_messages: AtomicUsize::new(0),
             pending_set_ups: AtomicUsize::new(0),
             has_partial_message: AtomicBool::new(false),
-            output_deadline: AtomicU64::new(Time::ZERO.as_nanos()),
+            output_deadline: AtomicTime::new(Time::ZERO),
             has_sent_message: AtomicBool::new(false),
-            last_used: AtomicU64::new(now.as_nanos()),
+            last_used: AtomicTime::new(now),
         }
     }
 
     /// The viewer waits for what is written until then; an earlier time has no effect.
     pub(crate) fn extend_output_deadline(&self, until: Time) {
-        self.output_deadline
-            .fetch_max(until.as_nanos(), Ordering::Relaxed);
+        self.output_deadline.fetch_max(until, Ordering::Relaxed);
     }
 
     fn output_deadline(&self) -> Time {
-        Time(self.output_deadline.load(Ordering::Relaxed))
+        self.output_deadline.load(Ordering::Relaxed)
     }
 
     /// When a message was last read from it, or one of its set-ups answered.
     pub(crate) fn last_used(&self) -> Time {
-        Time(self.last_used.load(Ordering::Relaxed))
+        self.last_used.load(Ordering::Relaxed)
     }
 
     pub(crate) fn set_last_used(&self, now: Time) {
-        self.last_used.store(now.as_nanos(), Ordering::Relaxed);
+        self.last_used.store(now, Ordering::Relaxed);
     }
 
     /// Whether something that was read, handled or not, has no answer.
--- /dev/null
+++ b/crates/time/src/atomic_time.rs
@@ -0,0 +1,30 @@
+//! A point in time that several threads or coroutines share.
+use crate::Time;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// A [`Time`] that is read and written without a lock.
+#[derive(Debug)]
+pub struct AtomicTime(AtomicU64);
+
+impl AtomicTime {
+    /// A shared point in time that begins as `time`.
+    #[must_use]
+    pub const fn new(time: Time) -> AtomicTime {
+        AtomicTime(AtomicU64::new(time.as_nanos()))
+    }
+
+    /// The present value.
+    pub fn load(&self, ordering: Ordering) -> Time {
+        Time(self.0.load(ordering))
+    }
+
+    /// Replaces the value.
+    pub fn store(&self, time: Time, ordering: Ordering) {
+        self.0.store(time.as_nanos(), ordering);
+    }
+
+    /// Replaces the value if `time` is later.
+    pub fn fetch_max(&self, time: Time, ordering: Ordering) {
+        self.0.fetch_max(time.as_nanos(), ordering);
+    }
+}
--- a/crates/time/src/lib.rs
+++ b/crates/time/src/lib.rs
@@ -3,6 +3,9 @@
 //! A [`Time`] is a point, a [`Duration`] the distance between two: neither can be taken for the other, nor for a plain
 //! number. No arithmetic overflows: a point beyond the range is [`Time::MAX`], one before it [`Time::ZERO`].
 #![forbid(unsafe_code)]
+mod atomic_time;
+
+pub use atomic_time::AtomicTime;
 use std::ops::{Add, AddAssign, Sub};
 use std::time::Duration;
 
