--- /dev/null
+++ b/crates/fault-simulation/src/scenario/parser/actions.rs
@@ -0,0 +1,99 @@
+//! Reads the actions of a case.
+use super::{or_default, schema, Parser, BYTES_PER_KILOBYTE};
+use crate::scenario::{Action, Build, DelayRange, DiskState, HostAction};
+
+impl Parser<'_, '_> {
+    pub(super) fn restart(&mut self, path: &str, raw: &schema::Restart) -> Action {
+        let fronts = self.fronts(&format!("{path}.fronts"), &raw.fronts);
+        let after = self.time(&format!("{path}.after"), &raw.after);
+        Action::Restart { fronts, after }
+    }
+
+    pub(super) fn net(&mut self, path: &str, raw: &schema::Net) -> Action {
+        Action::SetNetwork {
+            loss: self.part(&format!("{path}.loss"), raw.loss),
+            duplicated: self.part(&format!("{path}.doubled"), raw.doubled),
+            delay: self.delay(path, raw),
+            bandwidth: self.bandwidth(&format!("{path}.bandwidth"), &raw.bandwidth),
+        }
+    }
+
+    fn delay(&mut self, path: &str, raw: &schema::Net) -> Option<DelayRange> {
+        if raw.most.is_empty() {
+            return None;
+        }
+        let least = format!("{path}.least");
+        let min = self.optional_time(&least, &raw.least);
+        let max = self.time(&format!("{path}.most"), &raw.most);
+        self.checks
+            .must(min <= max, &least, "is more than the most");
+        Some(DelayRange {
+            min,
+            max: max.max(min),
+        })
+    }
+
+    fn bandwidth(&mut self, path: &str, text: &str) -> f64 {
+        if text.is_empty() {
+            return f64::INFINITY;
+        }
+        self.checks.rate(path, text) * BYTES_PER_KILOBYTE
+    }
+
+    pub(super) fn cut(&mut self, path: &str, raw: &schema::Cut) -> Action {
+        Action::Partition {
+            from: self.fronts(&format!("{path}.from"), &raw.from),
+            to: self.fronts(&format!("{path}.to"), &raw.to),
+            both_ways: !raw.one_way,
+        }
+    }
+
+    pub(super) fn flood(&mut self, path: &str, raw: &schema::Flood) -> Action {
+        let fronts = self.fronts(&format!("{path}.fronts"), &raw.fronts);
+        let copies = self
+            .checks
+            .count(&format!("{path}.times"), raw.times, 1, 1000);
+        Action::Flood { fronts, copies }
+    }
+
+    pub(super) fn select_build(&mut self, path: &str, raw: &schema::Runs) -> Action {
+        let build = if raw.other {
+            Build::Other
+        } else {
+            Build::First
+        };
+        Action::SelectBuild {
+            fronts: self.fronts(&format!("{path}.fronts"), &raw.fronts),
+            build,
+        }
+    }
+
+    pub(super) fn power_off(&mut self, path: &str, raw: &schema::Power) -> HostAction {
+        HostAction::PowerOff {
+            fronts: self.fronts(&format!("{path}.fronts"), or_default(&raw.fronts, "none")),
+            servers: self.fronts(&format!("{path}.servers"), or_default(&raw.servers, "none")),
+            list_service: raw.list,
+        }
+    }
+
+    pub(super) fn power_on(&mut self, path: &str, raw: &schema::Power) -> HostAction {
+        HostAction::PowerOn {
+            fronts: self.fronts(&format!("{path}.fronts"), or_default(&raw.fronts, "none")),
+            servers: self.fronts(&format!("{path}.servers"), or_default(&raw.servers, "none")),
+            list_service: raw.list,
+        }
+    }
+
+    pub(super) fn disk(&mut self, path: &str, raw: &schema::Disk) -> HostAction {
+        let state = match raw.is() {
+            schema::Spoil::Intact => DiskState::Intact,
+            schema::Spoil::Empty => DiskState::Empty,
+            schema::Spoil::Old => DiskState::Outdated,
+            schema::Spoil::Torn => DiskState::Torn,
+        };
+        HostAction::SetDisks {
+            fronts: self.fronts(&format!("{path}.fronts"), &raw.fronts),
+            state,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fault-simulation/src/scenario/parser/claims.rs
@@ -0,0 +1,106 @@
+//! Reads the claims of a case.
+use super::{or_default, schema, Parser};
+use crate::scenario::{Claim, Step};
+use crankpaddle_membership::{LocalHealth, MemberState};
+
+impl Parser<'_, '_> {
+    fn claim(&mut self, path: &str, name: &str, claim: Claim) -> Step {
+        self.checks
+            .must(!name.is_empty(), path, "has no claim to be named by");
+        Step::Claim {
+            name: name.to_owned(),
+            claim,
+        }
+    }
+
+    pub(super) fn see(&mut self, path: &str, raw: &schema::See) -> Step {
+        let claim = Claim::See {
+            viewers: self.fronts(&format!("{path}.at"), &raw.at),
+            viewed: self.fronts(&format!("{path}.of"), &raw.of),
+            state: self.member_state(path, raw.state()),
+            bound: self.bound(path, raw.bound.as_ref()),
+        };
+        self.claim(path, &raw.claim, claim)
+    }
+
+    fn member_state(&mut self, path: &str, raw: schema::State) -> MemberState {
+        match raw {
+            schema::State::Alive => MemberState::Alive,
+            schema::State::Suspect => MemberState::Suspect,
+            schema::State::Gone => MemberState::Dead,
+            schema::State::Left => MemberState::Left,
+            schema::State::Unstated => {
+                self.checks
+                    .wrong(path, "has no state: ALIVE, SUSPECT, GONE or LEFT");
+                MemberState::Alive
+            }
+        }
+    }
+
+    pub(super) fn accused(&mut self, path: &str, raw: &schema::Accused) -> Step {
+        let claim = Claim::Accused {
+            accusers: self.fronts(&format!("{path}.by"), &raw.by),
+            except: self.fronts(&format!("{path}.but"), or_default(&raw.but, "none")),
+            allowed: raw.most,
+            allowed_per_front: self.checks.within(
+                &format!("{path}.a_front"),
+                raw.a_front,
+                0.0,
+                1000.0,
+            ),
+        };
+        self.claim(path, &raw.claim, claim)
+    }
+
+    pub(super) fn local_health(&mut self, path: &str, raw: &schema::Stands) -> Step {
+        let health = match raw.r#as() {
+            schema::Standing::Alone => LocalHealth::Alone,
+            schema::Standing::Connected => LocalHealth::Connected,
+            schema::Standing::Doubtful => LocalHealth::Degraded,
+            schema::Standing::CutOff => LocalHealth::Isolated,
+            schema::Standing::Replaced => LocalHealth::Replaced,
+            schema::Standing::Unknown => {
+                self.checks.wrong(
+                    path,
+                    "has no as: ALONE, CONNECTED, DOUBTFUL, CUT_OFF or REPLACED",
+                );
+                LocalHealth::Alone
+            }
+        };
+        let claim = Claim::LocalHealth {
+            fronts: self.fronts(&format!("{path}.at"), &raw.at),
+            health,
+            bound: self.bound(path, raw.bound.as_ref()),
+        };
+        self.claim(path, &raw.claim, claim)
+    }
+
+    pub(super) fn restarted(&mut self, path: &str, raw: &schema::News) -> Step {
+        let claim = Claim::Restarted {
+            viewers: self.fronts(&format!("{path}.at"), &raw.at),
+            restarted: self.fronts(&format!("{path}.of"), &raw.of),
+            bound: self.bound(path, raw.bound.as_ref()),
+        };
+        self.claim(path, &raw.claim, claim)
+    }
+
+    pub(super) fn recovered(&mut self, path: &str, raw: &schema::Back) -> Step {
+        let claim = Claim::Recovered {
+            paid: raw.paid,
+            part: self
+                .checks
+                .within(&format!("{path}.part"), raw.part, 0.01, 1.0),
+            bound: self.bound(path, raw.bound.as_ref()),
+        };
+        self.claim(path, &raw.claim, claim)
+    }
+
+    pub(super) fn entry_known(&mut self, path: &str, raw: &schema::Holds) -> Step {
+        let claim = Claim::EntryKnown {
+            part: self.part(&format!("{path}.part"), raw.part),
+            bound: self.bound(path, raw.bound.as_ref()),
+            max_age_error: self.time(&format!("{path}.age_within"), &raw.age_within),
+        };
+        self.claim(path, &raw.claim, claim)
+    }
+}
