--- a/crates/benchmark/src/lib.rs
+++ b/crates/benchmark/src/lib.rs
@@ -3,7 +3,7 @@
 //! Each figure is measured for the front and for a baseline in the same run: [`relay`], which forwards the same messages
 //! over the same sockets and decides nothing. Machines are noisy, so the ratio of the two counts, from alternating rounds.
 //!
-//! - [`bench`]: the comparison of front and relay;
+//! - [`mod@bench`]: the comparison of front and relay;
 //! - [`account`]: the cost of the accounting of traffic;
 //! - [`failures`]: set-ups that failed, counted by cause;
 //! - [`process`]: processor time and memory of a process.
