--- a/crates/node/tests/adopted_sessions.rs
+++ b/crates/node/tests/adopted_sessions.rs
@@ -18,7 +18,7 @@
     viewer.send_json(&at(1));
     viewer.send_json(&at(1));
     viewer.send_json(&set_up(tag(3), PAID, "-1", ";at:s-ffffffff"));
-    assert_eq!(viewer.echo()["verb"], "ECHOED", "no answer is owed");
+    assert_eq!(viewer.echo()["verb"], "ECHOED", "no answer is sent");
     assert_eq!(
         harness.node.counts().playing,
         1,
--- a/crates/node/tests/events.rs
+++ b/crates/node/tests/events.rs
@@ -350,7 +350,7 @@
     let (server, connection, _) = harness.next_set_up();
     server.send(connection, b"\x00\x01");
     observed.until("ended 0 0 ServerId(1) ServerError closed false");
-    // Cut off, while another connection stands.
+    // Cut off, while another connection is open.
     let (harness, mut observed) = ObservedNode::start(1);
     let mut viewer = harness.viewer();
     viewer.start(tag(1), PAID, 15_000);
--- a/crates/node/tests/faulty_clients.rs
+++ b/crates/node/tests/faulty_clients.rs
@@ -63,7 +63,7 @@
     }
     assert!(
         harness.servers[0].take_events().is_empty(),
-        "no server heard of them"
+        "no server received any"
     );
     harness.wait_until_idle();
 }
@@ -105,7 +105,7 @@
     }
     assert!(
         harness.servers[0].take_events().is_empty(),
-        "no server heard of them"
+        "no server received any"
     );
     harness.wait_until_idle();
 }
@@ -121,7 +121,7 @@
     assert!(silent.is_closed() && half.is_closed());
     assert!(
         before.elapsed().as_millis() < 3000,
-        "owed within 3 s: {:?}",
+        "closed within 3 s: {:?}",
         before.elapsed()
     );
     assert_eq!(holder.echo()["verb"], "ECHOED");
--- a/crates/node/tests/faulty_servers.rs
+++ b/crates/node/tests/faulty_servers.rs
@@ -83,7 +83,7 @@
     assert_eq!(
         viewer.echo()["verb"],
         "ECHOED",
-        "what stands does not fall by a stray refusal"
+        "an established session does not end by a stray rejection"
     );
     assert_eq!(harness.node.counts().playing, 2);
 }
--- a/crates/node/tests/sessions.rs
+++ b/crates/node/tests/sessions.rs
@@ -81,7 +81,7 @@
     let (_, cancel) = server.wait_for_request("TEARDOWN");
     assert_eq!((cancel.session, cancel.cause()), (Some(tag(1)), None));
     assert_eq!(second.echo()["verb"], "ECHOED");
-    wait("the other session stands", || {
+    wait("the other session is established", || {
         harness.node.counts().playing == 1 && harness.node.counts().waiting == 0
     });
 }
--- a/crates/node/tests/support/gate.rs
+++ b/crates/node/tests/support/gate.rs
@@ -34,7 +34,7 @@
         self.armed.store(true, Ordering::Release);
     }
 
-    /// Waits until the node stands at the gate.
+    /// Waits until the node waits at the gate.
     pub(crate) fn wait_until_reached(&self) {
         self.reached
             .recv_timeout(LONG)
@@ -42,6 +42,6 @@
     }
 
     pub(crate) fn open(&self) {
-        self.go.send(()).expect("the node stands at the gate");
+        self.go.send(()).expect("the node waits at the gate");
     }
 }
--- a/crates/node/tests/support/viewer.rs
+++ b/crates/node/tests/support/viewer.rs
@@ -55,7 +55,7 @@
         let got = self
             .reader
             .read_line(&mut line)
-            .expect("the node says something in time");
+            .expect("the node sends something in time");
         assert!(got > 0, "the node closed the connection");
         serde_json::from_str(&line).unwrap_or_else(|e| panic!("{line:?}: {e}"))
     }
--- a/crates/node/tests/unusual_deployment.rs
+++ b/crates/node/tests/unusual_deployment.rs
@@ -136,7 +136,7 @@
             line["verb"] == "FINISH" && [34, 42, 102].contains(&line["rc"].as_u64().unwrap());
         assert!(
             !(refused && story.class == 0 && story.may_have_run),
-            "a refusal says that nothing ran: {line}"
+            "a rejection states that nothing ran: {line}"
         );
     }
 }
--- a/crates/policy/tests/cross_zone.rs
+++ b/crates/policy/tests/cross_zone.rs
@@ -24,10 +24,7 @@
     d.send(policy_changed(1, IDEMPOTENT, CrossZonePolicy::Forbidden));
     let placed = placement_zones(&mut d, 0..400, IDEMPOTENT);
     assert!(!placed.is_empty() && placed.iter().all(|zone| *zone == 0));
-    assert!(
-        is_rejected(&d.request(900, IDEMPOTENT)),
-        "its own zone is full: it is not held back, it is told"
-    );
+    assert!(is_rejected(&d.request(900, IDEMPOTENT)), "its own zone is full: it is rejected, not deferred");
     assert!(placement_zones(&mut d, 1000..1005, AT_MOST_ONCE).contains(&1), "another class goes as before");
     d.send(policy_changed(1, IDEMPOTENT, CrossZonePolicy::Allowed));
     assert!(placement_zones(&mut d, 2000..2005, IDEMPOTENT).contains(&1));
@@ -109,12 +106,12 @@
         assert_eq!(
             d.send(Event::MaxRungChanged { request: RequestId(request), max_rung: 0 }),
             [],
-            "told twice, done once"
+            "a repeated event changes nothing"
         );
     }
     assert_eq!(
         d.send(Event::MaxRungChanged { request: RequestId(9), max_rung: 0 }),
         [],
-        "of a session that is over"
+        "the session has ended"
     );
 }
--- a/crates/policy/tests/many_replicas.rs
+++ b/crates/policy/tests/many_replicas.rs
@@ -70,7 +70,7 @@
 #[test]
 fn a_server_that_reset_its_connections_is_not_overloaded_by_250_replicas() {
     // All saw the reset; half are notified of the restart, the other half is not.
-    for told in [0, 2, 1] {
+    for notified_part in [0, 2, 1] {
         let mut all = replicas(250, |_| ());
         for (i, d) in all.iter_mut().enumerate() {
             let request = 1_000_000 + 6 * i as u64;
@@ -78,7 +78,7 @@
             d.end_attempt(request, ServerId(1), AttemptOutcome::Reset, true);
             d.advance(10 * SECOND);
             d.send(Event::Timer(0));
-            if told > 0 && i % told == 0 {
+            if notified_part > 0 && i % notified_part == 0 {
                 let start = Time(START.0 + 9 * SECOND);
                 d.send(Event::EndpointList(
                     EndpointListKind::Delta,
@@ -87,7 +87,11 @@
             }
         }
         let sent = request_repeatedly(&mut all, 8);
-        assert!(max_in_a_second(&sent) <= OVERLOADING_SETUPS, "told {told}: {}", max_in_a_second(&sent));
+        assert!(
+            max_in_a_second(&sent) <= OVERLOADING_SETUPS,
+            "notified_part {notified_part}: {}",
+            max_in_a_second(&sent)
+        );
     }
 }
 
@@ -236,7 +240,7 @@
 #[test]
 fn unusual_settings_and_late_timers_cause_no_panic_and_leave_no_request_unanswered() {
     let bare = Settings { rung_kb: vec![], rung_utility: vec![], racks: 0, cells: 0, ..settings() };
-    let crowd = Settings { replica_count: 10_000, front_index: 9_999, ..settings() };
+    let many_replicas = Settings { replica_count: 10_000, front_index: 9_999, ..settings() };
     let racks = Settings { racks: 500, update_interval: 0, update_delay: 0, ..settings() };
     let none = Settings {
         replica_count: 0,
@@ -245,7 +249,7 @@
         overload_window: 0,
         ..settings()
     };
-    for settings in [bare, crowd, racks, none, Settings::default()] {
+    for settings in [bare, many_replicas, racks, none, Settings::default()] {
         for list in [vec![], vec![endpoint(1, Lifecycle::Ready, START)], fleet()] {
             let mut d = Driver { policy: PlacementPolicy::new(settings.clone(), 3, START), now: START };
             d.send(Event::EndpointList(EndpointListKind::Full, list));
--- a/crates/policy/tests/random_sequences.rs
+++ b/crates/policy/tests/random_sequences.rs
@@ -76,7 +76,7 @@
     attempts: u32,
 }
 
-/// What the last list said of a server.
+/// What the last list states of a server.
 #[derive(Clone, Copy)]
 struct Listed {
     lifecycle: Lifecycle,
