Node: each close, retry, refusal and removal is logged with its reason and request id

Socket::close takes a CloseReason and keeps the first one; read_each says how reading ended; LinkEnd says who ended a link. At debug: viewer connection ended (end, closed_here, what was open on it), link closed (end), connect completed, set-up received, sent, response received, attempt failed and abandoned, release received, session removed (reason), duplicate set-up, a connection that took no message. What the levels above debug print is unchanged.

--- a/crates/daemon/src/attempt_sender.rs
+++ b/crates/daemon/src/attempt_sender.rs
@@ -3,7 +3,7 @@
 use crate::shared::Shared;
 use crankpaddle_front::{AttemptId, AttemptOutcome, SetUpResult};
 use crankpaddle_net::exchange::{ExchangeError, HttpExchange};
-use crankpaddle_net::{spawn, Socket, Stack};
+use crankpaddle_net::{spawn, CloseReason, Socket, Stack};
 use crankpaddle_server_protocol::sessions;
 use std::io;
 use std::net::SocketAddr;
@@ -36,7 +36,7 @@
     /// Ends the attempt: what was not written yet never will be, and the answer is not waited for.
     pub(crate) fn abandon(&self) {
         if let AttemptState::InFlight(socket) = self.complete() {
-            socket.close();
+            socket.close(CloseReason::NotNeeded);
         }
     }
 
--- a/crates/daemon/src/player.rs
+++ b/crates/daemon/src/player.rs
@@ -1,7 +1,7 @@
 //! A player's connection, shared by the event loop and the coroutine that reads it: pending calls, and what
 //! is sent.
 use crankpaddle_front::{PlayerId, RequestId};
-use crankpaddle_net::{clock, Socket, WriteBuffer};
+use crankpaddle_net::{clock, CloseReason, Socket, WriteBuffer};
 use crankpaddle_session_api::calls::Calls;
 use crankpaddle_session_api::jsonrpc::Id;
 use crankpaddle_session_api::Version;
@@ -125,7 +125,7 @@
                 self.pinged_at.store(now, Ordering::Relaxed);
                 self.send_frame(Frame::ping(Vec::new()));
             }
-            IdleAction::Close => self.outbox.socket().close(),
+            IdleAction::Close => self.outbox.socket().close(CloseReason::Expired),
         }
     }
 }
--- a/crates/daemon/src/server_link/mod.rs
+++ b/crates/daemon/src/server_link/mod.rs
@@ -9,7 +9,7 @@
 use crate::shared::Shared;
 use controls::{Control, Target};
 use crankpaddle_front::ServerId;
-use crankpaddle_net::{clock, spawn, Socket, Stack};
+use crankpaddle_net::{clock, spawn, CloseReason, Socket, Stack};
 use crankpaddle_time::{AtomicTime, Time};
 use may::sync::mpsc;
 use std::net::SocketAddr;
@@ -122,7 +122,7 @@
             return;
         }
         if let Some(socket) = self.stream_socket() {
-            socket.close();
+            socket.close(CloseReason::NotNeeded);
         }
     }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -16,5 +16,5 @@
 pub use idle_sweep::IdleSweeper;
 pub use listener::{accept_each, accept_while_capacity, listen};
 pub use runtime::{drain_after_stall, drain_queue, recv_until, sleep, spawn, start, Stack};
-pub use socket::{Peer, Socket, WriteError};
-pub use write_buffer::WriteBuffer;
+pub use socket::{CloseReason, Peer, Socket, WriteError};
+pub use write_buffer::{ReadEnd, WriteBuffer};
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -1,7 +1,10 @@
 //! A connection that one coroutine reads and any other may write to, wake or close.
+mod close_reason;
 mod connect;
 mod deferred_free;
 
+pub use close_reason::CloseReason;
+
 use crate::clock;
 use crankpaddle_time::{AtomicTime, Time};
 use may::io::WaitIo;
@@ -10,7 +13,8 @@
 use std::mem::ManuallyDrop;
 use std::net::{Shutdown, SocketAddr};
 use std::os::fd::AsRawFd;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 /// Requests the bytes of a TCP connection that the kernel has not sent yet (Linux, `linux/sockios.h`).
@@ -33,7 +37,7 @@
 pub struct Socket {
     stream: ManuallyDrop<Box<TcpStream>>, // Taken out once, on drop.
     expires_at: AtomicTime,
-    closed: AtomicBool,
+    close_reason: OnceLock<CloseReason>,
 }
 
 /// A write that failed before all bytes were written.
@@ -54,7 +58,7 @@
         Socket {
             stream: ManuallyDrop::new(Box::new(stream)),
             expires_at: AtomicTime::new(Time::MAX),
-            closed: AtomicBool::new(false),
+            close_reason: OnceLock::new(),
         }
     }
 
@@ -134,8 +138,8 @@
     }
 
     /// Closes the connection in both directions; its reader finds the end.
-    pub fn close(&self) {
-        self.closed.store(true, Ordering::Release);
+    pub fn close(&self, reason: CloseReason) {
+        let _ = self.close_reason.set(reason); // The first reason counts.
         let _ = self.stream.shutdown(Shutdown::Both); // It may be closed already.
         self.wake();
     }
@@ -149,13 +153,19 @@
         self.set_expiry(clock::now() + timeout);
         let mut discarded = [0u8; FINISH_READ_SIZE];
         while matches!(self.read(&mut discarded), Ok(count) if count > 0) {}
-        self.close();
+        self.close(CloseReason::Finished);
     }
 
     /// Whether [`Socket::close`] was called.
     #[must_use]
     pub fn is_closed(&self) -> bool {
-        self.closed.load(Ordering::Acquire)
+        self.close_reason().is_some()
+    }
+
+    /// Why [`Socket::close`] was called, if it was.
+    #[must_use]
+    pub fn close_reason(&self) -> Option<CloseReason> {
+        self.close_reason.get().copied()
     }
 
     /// Whether an idle connection can carry a request: not closed, nothing unread.
@@ -196,10 +206,10 @@
     }
 
     /// Closes the connection and discards what the kernel has not sent yet, if possible.
-    pub fn reset(&self) {
+    pub fn reset(&self, reason: CloseReason) {
         let socket = socket2::SockRef::from(self.stream.inner());
         let _ = socket.set_linger(Some(Duration::ZERO)); // If that fails, it is only closed.
-        self.close();
+        self.close(reason);
     }
 
     /// Whether a connection that is read elsewhere is still established, as far as the kernel knows.
@@ -226,7 +236,7 @@
     /// So the reader gets it, and checks [`Socket::is_expired`] if it is not what it waits for.
     pub fn expire(&self, now: Time) {
         if self.is_expired(now) && !self.is_closed() && !self.has_unread() {
-            self.close();
+            self.close(CloseReason::Expired);
         }
     }
 
--- a/crates/net/src/write_buffer.rs
+++ b/crates/net/src/write_buffer.rs
@@ -1,8 +1,27 @@
 //! A bounded buffer of what is sent to a peer that may not read; senders never wait.
 use crate::yield_budget::YieldBudget;
-use crate::Socket;
+use crate::{CloseReason, Socket};
+use std::io::ErrorKind;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+/// How the reading of a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadEnd {
+    /// The peer closed the connection, or this side did ([`Socket::close_reason`]).
+    Closed,
+    /// The connection failed; `ConnectionReset`: the peer has reset it, and may not have read what was sent last.
+    Failed(ErrorKind),
+    /// What was received is not wanted any further.
+    Stopped,
+}
+
+/// Why bytes were not accepted for sending.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PushError {
+    Failed,
+    Full,
+}
+
 /// Outgoing bytes of one socket, in order.
 ///
 /// Why it is bounded: a peer that never reads would fill the memory; over the bound it is disconnected, which also hits
@@ -45,33 +64,37 @@
     /// disconnected; then no byte has gone out of a message that is shorter than the bound.
     pub fn push(&self, bytes: &[u8]) -> bool {
         let mut pending = self.lock_pending();
-        if self.try_push(&mut pending, bytes) {
+        let Err(error) = self.try_push(&mut pending, bytes) else {
             return true;
-        }
+        };
         *pending = Vec::new();
         drop(pending);
-        self.socket.close();
+        self.socket.close(match error {
+            PushError::Failed => CloseReason::WriteFailed,
+            PushError::Full => CloseReason::BufferFull,
+        });
         false
     }
 
-    /// False if the connection failed or more than the bound waits.
-    fn try_push(&self, pending: &mut Vec<u8>, bytes: &[u8]) -> bool {
+    fn try_push(&self, pending: &mut Vec<u8>, bytes: &[u8]) -> Result<(), PushError> {
         let sent = if pending.is_empty() {
             self.socket.try_write(bytes)
         } else {
             Ok(0) // Bytes go out in order.
         };
         let Ok(sent) = sent else {
-            return false;
+            return Err(PushError::Failed);
         };
         pending.extend_from_slice(&bytes[sent..]);
-        pending.len() <= self.max_pending
+        if pending.len() > self.max_pending {
+            return Err(PushError::Full);
+        }
+        Ok(())
     }
 
     /// Passes what the peer sends to `each`, in pieces of at most `PIECE` bytes, and sends what waits, until the peer ends
-    /// the connection or `each` returns false. Returns whether the peer ended it. Call in the coroutine that waits on the
-    /// socket.
-    pub fn read_each<const PIECE: usize>(&self, mut each: impl FnMut(&[u8]) -> bool) -> bool {
+    /// the connection or `each` returns false. Call in the coroutine that waits on the socket.
+    pub fn read_each<const PIECE: usize>(&self, mut each: impl FnMut(&[u8]) -> bool) -> ReadEnd {
         let mut piece = [0u8; PIECE];
         let mut budget = YieldBudget::default();
         loop {
@@ -81,8 +104,9 @@
                     self.socket.wait();
                     budget.reset();
                 }
-                Ok(Some(0)) | Err(_) => return true,
-                Ok(Some(count)) if !each(&piece[..count]) => return false,
+                Ok(Some(0)) => return ReadEnd::Closed,
+                Err(error) => return ReadEnd::Failed(error.kind()),
+                Ok(Some(count)) if !each(&piece[..count]) => return ReadEnd::Stopped,
                 Ok(Some(_)) => budget.spend(), // A peer that sends at full speed always has something to read.
             }
         }
--- a/crates/node/src/connection_table.rs
+++ b/crates/node/src/connection_table.rs
@@ -1,6 +1,6 @@
 //! All viewers' connections, and which of them is closed when there are too many.
 use crate::viewer_connection::{ConnectionId, UnreadInput, ViewerConnection};
-use crankpaddle_net::clock;
+use crankpaddle_net::{clock, CloseReason};
 use crankpaddle_time::Time;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -109,7 +109,10 @@
                 )
             });
         if let Some(connection) = least_used {
-            connection.outbox.socket().close();
+            connection
+                .outbox
+                .socket()
+                .close(CloseReason::DescriptorNeeded);
         }
     }
 }
--- a/crates/node/src/event_loop/attempt_dispatch.rs
+++ b/crates/node/src/event_loop/attempt_dispatch.rs
@@ -10,7 +10,7 @@
 use crankpaddle_front::{
     AttemptId, AttemptOutcome, Input, LoadReport, ServerId, SetUpOrder, SetUpResult, Time,
 };
-use crankpaddle_net::{clock, Peer};
+use crankpaddle_net::{clock, CloseReason, Peer};
 use crankpaddle_node_protocol::{rtsp, Tag};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -179,7 +179,7 @@
             if self.write_set_up(id, link) {
                 return true;
             }
-            self.close_link(link);
+            self.close_link(link, CloseReason::WriteFailed);
         }
         false
     }
@@ -214,7 +214,7 @@
             self.await_link(id, link);
         } else if !self.write_set_up(id, link) {
             self.connect_failed(id);
-            self.close_link(link);
+            self.close_link(link, CloseReason::WriteFailed);
         }
     }
 
@@ -275,7 +275,7 @@
         if !link.is_usable() || !outbox.socket().is_open() || !outbox.push(&message) {
             return false;
         }
-        tracing::trace!(session_id = %attempt.session_id, server_id = attempt.server.0, link_id = link_id.0, rung = attempt.rung, "set-up sent");
+        tracing::debug!(session_id = %attempt.session_id, attempt_id = id.0, server_id = attempt.server.0, link_id = link_id.0, rung = attempt.rung, "set-up sent");
         attempt.state = AttemptState::Sent {
             link: link_id,
             sent_at: now,
--- a/crates/node/src/event_loop/attempt_lifecycle.rs
+++ b/crates/node/src/event_loop/attempt_lifecycle.rs
@@ -5,7 +5,7 @@
 use crankpaddle_front::{
     AttemptId, AttemptOutcome, Input, LoadReport, PlayerId, ServerId, SetUpResult, Time,
 };
-use crankpaddle_net::clock;
+use crankpaddle_net::{clock, CloseReason};
 use crankpaddle_node_protocol::rtsp;
 use crankpaddle_node_protocol::viewers::cause;
 use std::time::Duration;
@@ -21,7 +21,8 @@
         outcome: AttemptOutcome,
         report: LoadReport,
     ) {
-        if self.remove_attempt(attempt).is_some() {
+        if let Some(ended) = self.remove_attempt(attempt) {
+            tracing::debug!(session_id = %ended.session_id, attempt_id = attempt.0, ?outcome, "attempt failed");
             self.notify_core(Input::SetUpCompleted(
                 attempt,
                 SetUpResult::Ended(outcome, report),
@@ -33,7 +34,7 @@
     pub(super) fn remove_attempt(&mut self, id: AttemptId) -> Option<Attempt> {
         let attempt = self.attempts.remove(&id)?;
         let is_established = attempt.state.is_established();
-        tracing::trace!(session_id = %attempt.session_id, server_id = attempt.server.0, established = is_established, "attempt ended");
+        tracing::debug!(session_id = %attempt.session_id, attempt_id = id.0, server_id = attempt.server.0, established = is_established, "attempt ended");
         if let Some(server) = self.servers.get_mut(&attempt.server) {
             if server.attempts.get(&attempt.session_id) == Some(&id) {
                 server.attempts.remove(&attempt.session_id);
@@ -53,6 +54,7 @@
             return;
         };
         let session_id = attempt.session_id;
+        tracing::debug!(%session_id, attempt_id = id.0, server_id = server.0, sent = attempt.state.is_sent(), "attempt abandoned");
         match attempt.state {
             AttemptState::Queued | AttemptState::AwaitingLink(_) => {} // Nothing was written.
             AttemptState::Established { link, .. } => {
@@ -87,9 +89,9 @@
     /// Drops what a link has not sent, and closes it.
     fn reset_link(&mut self, id: LinkId) {
         if let Some(outbox) = self.links.get(&id).and_then(super::Link::outbox) {
-            outbox.socket().reset();
+            outbox.socket().reset(CloseReason::Unresponsive);
         }
-        self.close_link(id);
+        self.close_link(id, CloseReason::Unresponsive);
     }
 
     /// Marks a link as unresponsive if nothing came on it since an attempt was sent, for longer than a connect may take.
--- a/crates/node/src/event_loop/client_notifications.rs
+++ b/crates/node/src/event_loop/client_notifications.rs
@@ -1,5 +1,6 @@
 //! What viewers are sent: answers to their set-ups, and the end of their sessions.
 use super::client_requests::retry_after_ms;
+use super::session::RemovalReason;
 use super::{ConnectionId, EventLoop, UnsentMessage, RELEASE_RETRY_PERIOD};
 use crankpaddle_front::{Answer, Notification, PlayerId, RejectReason, SessionEndReason};
 use crankpaddle_net::clock;
@@ -9,17 +10,23 @@
 impl EventLoop {
     /// Sends to a viewer's connection; false if it is closed.
     pub(super) fn send_to_viewer(&self, connection: ConnectionId, bytes: &[u8]) -> bool {
-        self.connections.get(&connection).is_some_and(|connection| {
+        let is_accepted = self.connections.get(&connection).is_some_and(|connection| {
             !connection.outbox.socket().is_closed() && connection.outbox.push(bytes)
-        })
+        });
+        if !is_accepted {
+            tracing::debug!(
+                connection_id = connection.0,
+                "viewer connection took no message"
+            );
+        }
+        is_accepted
     }
 
     pub(super) fn send_answer(&mut self, player: PlayerId, answer: &Answer) {
-        tracing::trace!(
-            session_id = self
-                .sessions
-                .get(&player)
-                .map(|session| display(session.session_id)),
+        let session = self.sessions.get(&player);
+        tracing::debug!(
+            session_id = session.map(|session| display(session.session_id)),
+            connection_id = session.map(|session| session.connection.0),
             answer = ?answer.log_text(),
             "set-up answered"
         );
@@ -55,7 +62,7 @@
     }
 
     fn send_finish(&mut self, player: PlayerId, cause: u16, retry_after_ms: Option<u64>) {
-        let Some(session) = self.remove_session(player) else {
+        let Some(session) = self.remove_session(player, RemovalReason::NotEstablished) else {
             return;
         };
         let message = viewers::finish(session.session_id, cause, retry_after_ms);
@@ -69,10 +76,10 @@
         let Some(message) = notification_message(session_id, &notification) else {
             return;
         };
-        let Some(session) = self.remove_session(player) else {
+        let Some(session) = self.remove_session(player, RemovalReason::Ended) else {
             return;
         };
-        tracing::trace!(%session_id, connection_id = session.connection.0, notification = ?notification.log_text(), "session ended");
+        tracing::debug!(%session_id, connection_id = session.connection.0, notification = ?notification.log_text(), "session ended");
         self.send_notification(session.connection, message);
     }
 
--- a/crates/node/src/event_loop/client_requests.rs
+++ b/crates/node/src/event_loop/client_requests.rs
@@ -1,10 +1,10 @@
 //! What viewers send: set-ups, releases, tests, and the end of their connections.
-use super::session::{Session, SessionState};
+use super::session::{RemovalReason, Session, SessionState};
 use super::wire_time::{from_fractional_milliseconds, from_milliseconds, to_milliseconds};
 use super::{longest_wait, ConnectionId, EventLoop};
 use crate::shared::increment;
 use crankpaddle_front::{Call, Input, OpenRequest, PlayerId, Time};
-use crankpaddle_net::clock;
+use crankpaddle_net::{clock, CloseReason};
 use crankpaddle_node_protocol::viewers::{self, cause, InvalidField, Message, SetUpParams};
 use crankpaddle_node_protocol::Tag;
 use std::sync::atomic::Ordering;
@@ -41,7 +41,7 @@
     ) {
         let request = self.read_set_up(set_up);
         if self.players.contains_key(&set_up.tag) {
-            return self.handle_duplicate(connection, request.as_ref().ok());
+            return self.handle_duplicate(connection, set_up.tag, request.as_ref().ok());
         }
         let request = match request {
             Ok(request) => request,
@@ -56,11 +56,17 @@
 
     /// A set-up under the id of another one. An adoption may name a session that is known already, and is ignored. For any other
     /// the connection is closed without an answer. Why: an answer names the id, and would be taken for the other set-up's.
-    fn handle_duplicate(&mut self, connection: ConnectionId, request: Option<&SetUpRequest>) {
+    fn handle_duplicate(
+        &mut self,
+        connection: ConnectionId,
+        session_id: Tag,
+        request: Option<&SetUpRequest>,
+    ) {
         let is_adoption = request.is_some_and(|request| request.params.current_server.is_some());
         if !is_adoption {
             increment(&self.shared.drop_counters.duplicate);
-            self.close_viewer_connection(connection);
+            tracing::debug!(%session_id, connection_id = connection.0, "duplicate set-up");
+            self.close_for_duplicate(connection);
         }
     }
 
@@ -117,6 +123,7 @@
         let pending = viewer.pending_set_ups.load(Ordering::Relaxed);
         if pending >= self.shared.budget.pending_set_ups_per_connection {
             increment(&self.shared.drop_counters.too_many_pending);
+            tracing::debug!(%session_id, connection_id = connection.0, pending, "set-up rejected, too many pending on its connection");
             let retry_after =
                 Duration::from_nanos(self.shared.config.fleet.settings.max_retry_after);
             let message =
@@ -126,7 +133,7 @@
         }
         viewer.pending_set_ups.fetch_add(1, Ordering::AcqRel);
         viewer.extend_output_deadline(received_at + open.max_wait);
-        tracing::trace!(%session_id, connection_id = connection.0, opts = ?set_up.opts, "set-up received");
+        tracing::debug!(%session_id, connection_id = connection.0, opts = ?set_up.opts, "set-up received");
         let description = set_up.blob.clone().unwrap_or_default();
         let player = self.insert_session(Session {
             session_id,
@@ -218,7 +225,7 @@
     }
 
     fn handle_finish(&mut self, connection: ConnectionId, session_id: Tag, reason: u16) {
-        tracing::trace!(%session_id, connection_id = connection.0, reason, "finish received");
+        tracing::debug!(%session_id, connection_id = connection.0, reason, "finish received");
         if let Some(player) = self.players.get(&session_id).copied() {
             let Some(session) = self.sessions.get(&player) else {
                 return;
@@ -226,7 +233,7 @@
             // Only who waits for the answer may cancel the set-up; an established session belongs to no connection.
             if session.is_established() || session.connection == connection {
                 self.release_cause = reason;
-                self.end_session(player);
+                self.end_session(player, RemovalReason::FinishedByViewer);
                 self.release_cause = cause::CANCELLED;
             }
         }
@@ -234,13 +241,12 @@
     }
 
     /// The viewer wants nothing more of this session.
-    fn end_session(&mut self, player: PlayerId) {
-        self.remove_session(player);
+    fn end_session(&mut self, player: PlayerId, reason: RemovalReason) {
+        self.remove_session(player, reason);
         self.notify_core(Input::Leave(player));
     }
 
     pub(super) fn viewer_disconnected(&mut self, id: ConnectionId) {
-        tracing::trace!(connection_id = id.0, "viewer disconnected");
         let Some(connection) = self.connections.remove(&id) else {
             return;
         };
@@ -255,12 +261,17 @@
             .map(|(player, _)| *player)
             .collect();
         for player in pending {
-            self.end_session(player); // No answer can reach it any more.
+            self.end_session(player, RemovalReason::ViewerDisconnected); // No answer can reach it any more.
         }
     }
 
-    pub(super) fn remove_session(&mut self, player: PlayerId) -> Option<Session> {
+    pub(super) fn remove_session(
+        &mut self,
+        player: PlayerId,
+        reason: RemovalReason,
+    ) -> Option<Session> {
         let session = self.sessions.remove(&player)?;
+        tracing::debug!(session_id = %session.session_id, ?reason, established = session.is_established(), "session removed");
         self.players.remove(&session.session_id);
         if !session.is_established() {
             self.set_up_answered(session.connection);
@@ -276,9 +287,9 @@
         }
     }
 
-    fn close_viewer_connection(&self, connection: ConnectionId) {
+    fn close_for_duplicate(&self, connection: ConnectionId) {
         if let Some(connection) = self.connections.get(&connection) {
-            connection.outbox.socket().close();
+            connection.outbox.socket().close(CloseReason::DuplicateId);
         }
     }
 }
--- a/crates/node/src/event_loop/link.rs
+++ b/crates/node/src/event_loop/link.rs
@@ -1,6 +1,6 @@
 //! A link: one connection to a server.
 use crankpaddle_front::{AttemptId, ServerId, Time};
-use crankpaddle_net::WriteBuffer;
+use crankpaddle_net::{CloseReason, WriteBuffer};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -125,9 +125,9 @@
     }
 
     /// Closes its socket, if it has one.
-    pub(super) fn close(&self) {
+    pub(super) fn close(&self, reason: CloseReason) {
         if let Some(outbox) = self.outbox() {
-            outbox.socket().close();
+            outbox.socket().close(reason);
         }
     }
 }
--- a/crates/node/src/event_loop/maintenance.rs
+++ b/crates/node/src/event_loop/maintenance.rs
@@ -2,6 +2,7 @@
 use super::{ConnectionId, EventLoop, UnsentMessage};
 use crate::shared::LinkId;
 use crankpaddle_front::{ServerId, Time};
+use crankpaddle_net::CloseReason;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -101,7 +102,7 @@
             return;
         };
         if server.is_unused() {
-            self.close_links(id);
+            self.close_links(id, CloseReason::NotNeeded);
             self.servers.remove(&id);
         } else if !server.is_listed && server.health.wants_connect(now, true) {
             self.server_lost(id); // Silent, and no connect may check it any more.
@@ -116,7 +117,7 @@
             .map(|(id, _)| *id)
             .collect();
         for link in expired {
-            self.close_link(link);
+            self.close_link(link, CloseReason::Unresponsive);
         }
     }
 
--- a/crates/node/src/event_loop/server_links.rs
+++ b/crates/node/src/event_loop/server_links.rs
@@ -5,7 +5,7 @@
 use crate::server_connector;
 use crate::shared::{LinkEnd, LinkId};
 use crankpaddle_front::{AttemptId, AttemptOutcome, LoadReport, ServerId, Time};
-use crankpaddle_net::{clock, WriteBuffer};
+use crankpaddle_net::{clock, CloseReason, WriteBuffer};
 use crankpaddle_node_protocol::rtsp;
 use crankpaddle_node_protocol::viewers::cause;
 use std::sync::Arc;
@@ -83,7 +83,7 @@
         let Some((_, id)) = oldest else {
             return false;
         };
-        self.close_link(id);
+        self.close_link(id, CloseReason::DescriptorNeeded);
         true
     }
 
@@ -96,13 +96,13 @@
         let Some(link) = self.links.get(&id) else {
             // It was closed meanwhile.
             if let Ok(outbox) = result {
-                outbox.socket().close();
+                outbox.socket().close(CloseReason::NotNeeded);
             }
             return;
         };
         let server_id = link.server;
         let outcome = result.as_ref().map(|_| ()).map_err(|failure| *failure);
-        tracing::trace!(
+        tracing::debug!(
             link_id = id.0,
             server_id = server_id.0,
             ?outcome,
@@ -125,7 +125,7 @@
         failure: ConnectFailure,
         is_lost: bool,
     ) {
-        self.close_link(id);
+        self.link_ended(id, LinkEnd::ConnectFailed(failure));
         let has_link = self
             .find_link(server, |link| !link.is_connecting())
             .is_some();
@@ -173,7 +173,7 @@
             .filter(|id| *id != newest && has_nothing_pending(id))
             .collect();
         for link in older {
-            self.close_link(link);
+            self.close_link(link, CloseReason::Unresponsive);
         }
     }
 
@@ -223,23 +223,23 @@
     pub(super) fn cancel_connects(&mut self, server: ServerId) {
         for link in self.connecting_links(server) {
             self.requeue_pending(link);
-            self.close_link(link);
+            self.close_link(link, CloseReason::PeerReplaced);
         }
     }
 
-    pub(super) fn close_links(&mut self, server: ServerId) {
+    pub(super) fn close_links(&mut self, server: ServerId, reason: CloseReason) {
         let links = self
             .servers
             .get(&server)
             .map(|server| server.links.clone())
             .unwrap_or_default();
         for link in links {
-            self.close_link(link);
+            self.close_link(link, reason);
         }
     }
 
-    pub(super) fn close_link(&mut self, id: LinkId) {
-        self.link_ended(id, LinkEnd::Closed);
+    pub(super) fn close_link(&mut self, id: LinkId, reason: CloseReason) {
+        self.link_ended(id, LinkEnd::ByNode(reason));
     }
 
     /// A link has ended: attempts on it end, each once.
@@ -261,13 +261,19 @@
         } else {
             AttemptOutcome::Reset
         };
-        tracing::trace!(
+        tracing::debug!(
             link_id = id.0,
             server_id = server_id.0,
+            ?end,
             pending = link.pending.len(),
             "link closed"
         );
-        link.close();
+        link.close(match end {
+            LinkEnd::ByNode(reason) => reason,
+            LinkEnd::ByServer(_) | LinkEnd::ConnectFailed(_) | LinkEnd::Malformed => {
+                CloseReason::ReadEnded
+            }
+        });
         let Some(server) = self.servers.get_mut(&server_id) else {
             return;
         };
--- a/crates/node/src/event_loop/server_liveness.rs
+++ b/crates/node/src/event_loop/server_liveness.rs
@@ -1,6 +1,7 @@
 //! Checks whether servers with sessions are alive, and ends the sessions at those that are not.
 use super::{EventLoop, Link};
 use crankpaddle_front::{AttemptId, AttemptOutcome, Input, LoadReport, ServerId, Time};
+use crankpaddle_net::CloseReason;
 
 impl EventLoop {
     /// Connects to a server from which messages are needed if it has no link or is silent.
@@ -49,7 +50,7 @@
                 .get(&link)
                 .is_some_and(|link| !link.is_connecting() && is_previous(link.connect_started_at));
             if is_stale {
-                self.close_link(link);
+                self.close_link(link, CloseReason::PeerReplaced);
             }
         }
     }
@@ -63,7 +64,7 @@
         server.abandoned.clear();
         let lost = self.established_attempts(id, |_| true);
         self.end_sessions(id, lost);
-        self.close_links(id);
+        self.close_links(id, CloseReason::PeerReplaced);
     }
 
     /// The ids of the established attempts at a server whose set-up was sent at a time for which `sent` holds, in order.
--- a/crates/node/src/event_loop/server_messages.rs
+++ b/crates/node/src/event_loop/server_messages.rs
@@ -1,4 +1,5 @@
 //! What servers send: responses to set-ups and health checks, updates on sessions, releases.
+use super::session::RemovalReason;
 use super::EventLoop;
 use crate::shared::LinkId;
 use crankpaddle_front::{AttemptId, AttemptOutcome, Input, LoadReport, ServerId, SessionUpdate};
@@ -69,6 +70,14 @@
         let cseq = message.cseq.unwrap_or(cseq::TEAR_DOWN);
         let acknowledgement = rtsp::acknowledge(cseq, message.session);
         self.send_to_server(server, Some(link), acknowledgement);
+        tracing::debug!(
+            link_id = link.0,
+            server_id = server.0,
+            session_id = message.session.map(display),
+            cause = message.cause(),
+            known = attempt.is_some(),
+            "release received"
+        );
         if let Some(attempt) = attempt {
             self.attempt_released(attempt, message);
         }
@@ -85,7 +94,7 @@
         let outcome = release_outcome(message);
         self.remove_attempt(id);
         if outcome == AttemptOutcome::Cancelled {
-            self.remove_session(player); // The viewer ended it, or it was migrated: the viewer is sent no release.
+            self.remove_session(player, RemovalReason::EndedAtServer); // The viewer ended it, or it was migrated: the viewer is sent no release.
         }
         self.notify_core(Input::SessionEnded(id, outcome, report));
     }
--- a/crates/node/src/event_loop/session.rs
+++ b/crates/node/src/event_loop/session.rs
@@ -25,6 +25,21 @@
     Established,
 }
 
+/// Why a session is removed from the tables; logged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RemovalReason {
+    /// Its set-up was answered with a rejection or a failure.
+    NotEstablished,
+    /// It has ended, and its viewer is notified.
+    Ended,
+    /// Its server reports that its viewer has ended it, or that it was migrated: the viewer is sent nothing.
+    EndedAtServer,
+    /// Its viewer cancelled it or ended it here.
+    FinishedByViewer,
+    /// The connection that its set-up came on has ended, so no answer can reach its viewer.
+    ViewerDisconnected,
+}
+
 impl Session {
     pub(super) fn is_established(&self) -> bool {
         matches!(self.state, SessionState::Established)
--- a/crates/node/src/event_loop/set_up_responses.rs
+++ b/crates/node/src/event_loop/set_up_responses.rs
@@ -27,6 +27,14 @@
         message: &rtsp::Message,
     ) {
         let now = clock::now();
+        tracing::debug!(
+            link_id = link.0,
+            server_id = server.0,
+            session_id = message.session.map(display),
+            status,
+            known = known.is_some(),
+            "set-up response received"
+        );
         let Some(attempt) = known.filter(|id| self.is_awaiting_answer_on(*id, link)) else {
             let is_accepted_unknown = known.is_none() && status == status::OK;
             return self.handle_unexpected_response(link, server, is_accepted_unknown, message);
--- a/crates/node/src/server_connector.rs
+++ b/crates/node/src/server_connector.rs
@@ -1,7 +1,7 @@
 //! Connections to servers: one coroutine connects and then reads.
 use crate::health::{connect_timeout, ConnectFailure};
 use crate::shared::{increment, InboxMessage, LinkEnd, LinkId, Shared};
-use crankpaddle_net::{spawn, Socket, Stack, WriteBuffer};
+use crankpaddle_net::{spawn, CloseReason, ReadEnd, Socket, Stack, WriteBuffer};
 use crankpaddle_node_protocol::rtsp::Decoder;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
@@ -44,7 +44,7 @@
     let outbox = Arc::new(WriteBuffer::new(Arc::new(socket), shared.budget.outbox));
     shared.send(InboxMessage::ConnectCompleted(link, Ok(outbox.clone())));
     let end = read_messages(&outbox, link, shared);
-    outbox.socket().close();
+    outbox.socket().close(CloseReason::ReadEnded);
     shared.links.fetch_sub(1, Ordering::Relaxed);
     shared.send(InboxMessage::LinkClosed(link, end));
 }
@@ -52,7 +52,7 @@
 fn read_messages(outbox: &WriteBuffer, link: LinkId, shared: &Shared) -> LinkEnd {
     let mut decoder = Decoder::default();
     let mut messages = Vec::new();
-    let was_readable = outbox.read_each::<READ_SIZE>(|bytes| {
+    let end = outbox.read_each::<READ_SIZE>(|bytes| {
         let decoded = decoder.feed(bytes, &mut messages);
         if !messages.is_empty() {
             let complete = std::mem::take(&mut messages);
@@ -64,9 +64,9 @@
         }
         decoded.is_ok()
     });
-    if was_readable && !decoder.has_partial_message() {
-        LinkEnd::Closed
-    } else {
+    if end == ReadEnd::Stopped || decoder.has_partial_message() {
         LinkEnd::Malformed
+    } else {
+        LinkEnd::ByServer(end)
     }
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -3,7 +3,7 @@
 use crate::connection_table::ConnectionTable;
 use crate::health::ConnectFailure;
 use crate::viewer_connection::{ConnectionId, ViewerConnection};
-use crankpaddle_net::{IdleSweeper, WriteBuffer};
+use crankpaddle_net::{CloseReason, IdleSweeper, ReadEnd, WriteBuffer};
 use crankpaddle_node_protocol::config::Config;
 use crankpaddle_node_protocol::directory::List;
 use crankpaddle_node_protocol::{rtsp, viewers};
@@ -21,8 +21,12 @@
 /// How a connection to a server ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LinkEnd {
-    /// One of both closed it between two messages.
-    Closed,
+    /// The server closed or reset it between two messages.
+    ByServer(ReadEnd),
+    /// The connect failed.
+    ConnectFailed(ConnectFailure),
+    /// This node closed it.
+    ByNode(CloseReason),
     /// What came on it could not be read, or stopped within a message.
     Malformed,
 }
--- a/crates/node/src/viewer_reader.rs
+++ b/crates/node/src/viewer_reader.rs
@@ -1,7 +1,7 @@
 //! Reading viewers' connections, and closing those that send nothing in time.
 use crate::shared::{increment, InboxMessage, Shared};
 use crate::viewer_connection::ViewerConnection;
-use crankpaddle_net::{clock, Socket, WriteBuffer};
+use crankpaddle_net::{clock, CloseReason, ReadEnd, Socket, WriteBuffer};
 use crankpaddle_node_protocol::viewers::{self, Decoder};
 use crankpaddle_time::Time;
 use std::sync::atomic::Ordering;
@@ -41,12 +41,27 @@
     let connection = Arc::new(ViewerConnection::new(id, outbox, now));
     shared.connections.insert(&connection);
     shared.send(InboxMessage::ViewerConnected(connection.clone()));
-    Reader::new(&connection, shared).run();
-    socket.close();
+    let end = Reader::new(&connection, shared).run();
+    socket.close(CloseReason::ReadEnded);
+    log_end(&connection, end);
     shared.connections.remove(connection.id);
     shared.send(InboxMessage::ViewerDisconnected(connection.id));
 }
 
+/// Logs who ended a connection and why, and what was open on it.
+fn log_end(connection: &ViewerConnection, end: ReadEnd) {
+    tracing::debug!(
+        connection_id = connection.id.0,
+        ?end,
+        closed_here = ?connection.outbox.socket().close_reason(),
+        pending_set_ups = connection.pending_set_ups.load(Ordering::Acquire),
+        queued_messages = connection.queued_messages.load(Ordering::Acquire),
+        has_partial_message = connection.has_partial_message.load(Ordering::Acquire),
+        has_sent_message = connection.has_sent_message.load(Ordering::Relaxed),
+        "viewer connection ended"
+    );
+}
+
 /// Reads one connection.
 struct Reader<'a> {
     connection: &'a ViewerConnection,
@@ -67,9 +82,9 @@
         }
     }
 
-    fn run(mut self) {
+    fn run(mut self) -> ReadEnd {
         let outbox = &self.connection.outbox;
-        outbox.read_each::<READ_SIZE>(|bytes| self.handle_bytes(bytes));
+        outbox.read_each::<READ_SIZE>(|bytes| self.handle_bytes(bytes))
     }
 
     /// Passes the messages in `bytes` on; false when the connection is to be closed.
--- a/crates/testbed/src/list_service.rs
+++ b/crates/testbed/src/list_service.rs
@@ -5,7 +5,9 @@
 use crankpaddle_front::EndpointListKind;
 use crankpaddle_http::sse;
 use crankpaddle_net::exchange::HttpExchange;
-use crankpaddle_net::{accept_each, clock, listen, sleep, spawn, Socket, Stack, WriteBuffer};
+use crankpaddle_net::{
+    accept_each, clock, listen, sleep, spawn, CloseReason, Socket, Stack, WriteBuffer,
+};
 pub use crankpaddle_server_protocol::list::EndpointState;
 use crankpaddle_server_protocol::list::{self, EndpointEntry, EndpointListBody};
 use crankpaddle_time::{nanoseconds, Time};
@@ -148,7 +150,7 @@
             return;
         }
         for subscriber in lock(&self.state).subscribers.drain(..) {
-            subscriber.stream.socket().close();
+            subscriber.stream.socket().close(CloseReason::Shutdown);
         }
     }
 
@@ -223,7 +225,7 @@
         let stream = Arc::new(WriteBuffer::new(socket.clone(), STREAM_BUFFER));
         self.subscribe(front, &stream);
         stream.until_closed(); // The front sends nothing more on this connection.
-        socket.close();
+        socket.close(CloseReason::ReadEnded);
     }
 
     /// Sends the list and registers the front for changes, in one step: no change is missed in between.
--- a/crates/testbed/src/player/client.rs
+++ b/crates/testbed/src/player/client.rs
@@ -2,7 +2,7 @@
 use super::CONNECT_TIMEOUT;
 use crankpaddle_http::head;
 use crankpaddle_net::exchange::HttpExchange;
-use crankpaddle_net::{clock, IdleSweeper, Socket, WriteBuffer};
+use crankpaddle_net::{clock, CloseReason, IdleSweeper, Socket, WriteBuffer};
 use crankpaddle_session_api::client::{self, ClientEvent};
 use crankpaddle_session_api::Version;
 use crankpaddle_time::Time;
@@ -157,7 +157,7 @@
 
     /// Closes the connection without a WebSocket close, as a player does that disconnects.
     pub fn cut(&self) {
-        self.outbox.socket().close();
+        self.outbox.socket().close(CloseReason::NotNeeded);
     }
 
     /// Closes the connection with a WebSocket close.
--- a/crates/testbed/src/server/mod.rs
+++ b/crates/testbed/src/server/mod.rs
@@ -15,7 +15,7 @@
 use crate::setup_log::SetUpLog;
 use crankpaddle_http::problem::Problem;
 use crankpaddle_net::exchange::HttpExchange;
-use crankpaddle_net::{accept_each, clock, sleep, Socket, WriteBuffer};
+use crankpaddle_net::{accept_each, clock, sleep, CloseReason, Socket, WriteBuffer};
 use crankpaddle_server_protocol::event_stream::{self, SessionOver};
 pub use fleet::{Fleet, Layout};
 use may::net::TcpListener;
@@ -128,7 +128,7 @@
         lock(&self.stop_listening).store(true, Ordering::Release);
         let _ = std::net::TcpStream::connect(self.address); // Wakes the listener, which then closes.
         for socket in lock(&self.sockets).drain(..).filter_map(|s| s.upgrade()) {
-            socket.close();
+            socket.close(CloseReason::Shutdown);
         }
         lock(&self.event_streams).clear();
         lock(&self.ended_early).clear();
--- a/crates/testbed/src/server/set_up.rs
+++ b/crates/testbed/src/server/set_up.rs
@@ -7,7 +7,7 @@
 use crankpaddle_http::head;
 use crankpaddle_http::orca;
 use crankpaddle_http::problem::Problem;
-use crankpaddle_net::{clock, sleep, Socket};
+use crankpaddle_net::{clock, sleep, CloseReason, Socket};
 use crankpaddle_server_protocol::sessions::{SetUpBody, FULL};
 use crankpaddle_time::Time;
 use std::sync::atomic::Ordering;
@@ -198,7 +198,7 @@
         }
         self.record_reply(Reply::Reset);
         self.server.end(self.fleet, self.name);
-        self.socket.close();
+        self.socket.close(CloseReason::NotNeeded);
         Err(Unsuccessful::Disconnected)
     }
 
