--- a/crates/cli/tests/node_harness/mod.rs
+++ b/crates/cli/tests/node_harness/mod.rs
@@ -1,4 +1,5 @@
 //! A front node's command and configuration, its directory, and messages of its viewers.
+#![allow(dead_code)] // Each test binary uses a part of it.
 use crate::support::{folder, program, RunningProgram, TIMEOUT};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Write};
