Failing tests: releases and answers that the kernel accepted and no viewer got

A viewer that closes its connection with a release unread, and one that closes it while its answer is under way: the release is never sent again, and the session whose answer nobody got plays on at its server.

--- a/crates/node/tests/support/viewer.rs
+++ b/crates/node/tests/support/viewer.rs
@@ -49,6 +49,12 @@
             .expect("an option");
     }
 
+    /// Closes the connection when something has arrived on it, without reading that.
+    pub(crate) fn close_unread(self) {
+        let arrived = self.stream.peek(&mut [0u8; 1]).expect("something arrives");
+        assert!(arrived > 0, "the node closed the connection");
+    }
+
     /// The next message.
     pub(crate) fn next_message(&mut self) -> Value {
         let mut line = String::new();
--- /dev/null
+++ b/crates/node/tests/undelivered.rs
@@ -0,0 +1,83 @@
+//! Messages that the kernel accepted and their viewer never got, because its connection was ending.
+mod support;
+use crankpaddle::Event;
+use crankpaddle_node_protocol::rtsp;
+use support::*;
+
+/// A node with one session on a connection of its own, and another connection with a session, which stays open.
+struct TwoSessions {
+    harness: Harness,
+    leaving: Viewer,
+    staying: Viewer,
+    /// The server's connection of the first session.
+    link: usize,
+}
+
+/// Starts it with a gate at the updates of sessions, and stops the node's worker there.
+fn two_sessions_and_a_stopped_worker() -> (TwoSessions, Gate) {
+    let (gate, observer) = Gate::at(|event| matches!(event, Event::SessionUpdated { .. }));
+    let harness = Harness::start_observed(1, |_| {}, Some(observer));
+    let (mut leaving, mut staying) = (harness.viewer(), harness.viewer());
+    let (_, link) = harness.establish(&mut leaving, tag(1), FREE);
+    let (server, other_link) = harness.establish(&mut staying, tag(2), FREE);
+    gate.arm();
+    server.send(other_link, &session_update(tag(2), "link_use", 0.5));
+    gate.wait_until_reached();
+    let sessions = TwoSessions {
+        harness,
+        leaving,
+        staying,
+        link,
+    };
+    (sessions, gate)
+}
+
+fn assert_released(viewer: &mut Viewer, session: u64) {
+    let message = viewer.next_message();
+    assert_eq!(
+        (&message["verb"], &message["tag"]),
+        (&"FINISH".into(), &tag(session).as_str().into())
+    );
+}
+
+/// Guards against a release that is written to a connection whose viewer has just closed it, and is never sent again.
+#[test]
+fn a_release_that_crosses_the_close_of_its_connection_is_sent_on_another() {
+    let _alone = alone();
+    let (mut sessions, gate) = two_sessions_and_a_stopped_worker();
+    sessions.harness.servers[0].send(sessions.link, &rtsp::release(tag(1), 16));
+    drop(sessions.leaving);
+    gate.open();
+    assert_released(&mut sessions.staying, 1);
+}
+
+/// Guards against a release that the viewer's machine has received and its viewer has not, and is never sent again.
+#[test]
+fn a_release_that_its_viewer_closes_without_reading_is_sent_on_another_connection() {
+    let _alone = alone();
+    let (mut sessions, gate) = two_sessions_and_a_stopped_worker();
+    gate.open();
+    sessions.harness.servers[0].send(sessions.link, &rtsp::release(tag(1), 16));
+    sessions.leaving.close_unread();
+    assert_released(&mut sessions.staying, 1);
+}
+
+/// Guards against a session that plays for nobody because its viewer closed the connection while the answer was under way.
+#[test]
+fn a_session_whose_answer_crosses_the_close_of_its_connection_is_released_at_its_server() {
+    let _alone = alone();
+    let (sessions, gate) = two_sessions_and_a_stopped_worker();
+    gate.open();
+    let harness = &sessions.harness;
+    let mut viewer = harness.viewer();
+    viewer.start(tag(3), FREE, 15_000);
+    let (server, link, _) = harness.next_set_up();
+    gate.arm();
+    server.send(sessions.link, &session_update(tag(1), "link_use", 0.5));
+    gate.wait_until_reached();
+    server.send(link, &accepted(tag(3), "described"));
+    drop(viewer);
+    gate.open();
+    let (_, release) = server.wait_for_request("TEARDOWN");
+    assert_eq!(release.session, Some(tag(3)));
+}
