Node: it ends after its connections, not under them

Cause: has_ended looked at the connections, slept 20 ms, looked again, and the process ended; clients may send until the kill, so what came between the last look and the exit was read, or accepted by the kernel, and lost. The class: the end of something by a look and then a close. Related: the listener was closed with connections waiting in the kernel, and the one that woke it was dropped unread.

Change: from 0.9 s after SIGTERM connections are closed in order, write side first, when nothing is pending on them; a set-up read after that is not accepted, so its client may repeat it; the listener accepts what the kernel holds before it closes; the process ends when no connection is left, at the latest 2.9 s after SIGTERM plus what is unanswered. While sessions play only connections that are still sent on are closed, and never the last one.

Why it works: a client gets every answer and then the end of the stream, and nothing that the node took is unanswered at that moment.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,6 +4,7 @@
 //! wait. [`Socket`] can be read by one coroutine while any other writes to it without waiting, wakes it or closes it.
 #![deny(unsafe_code)]
 #![warn(missing_docs)]
+mod acceptor;
 pub mod clock;
 pub mod exchange;
 mod idle_sweep;
@@ -13,8 +14,9 @@
 mod write_buffer;
 mod yield_budget;
 
+pub use acceptor::{accept_while_capacity, AcceptHandle};
 pub use idle_sweep::IdleSweeper;
-pub use listener::{accept_each, accept_while_capacity, listen};
+pub use listener::{accept_each, listen};
 pub use runtime::{drain_after_stall, drain_queue, recv_until, sleep, spawn, start, Stack};
 pub use socket::{CloseReason, Peer, Socket, WriteError};
 pub use write_buffer::{ReadEnd, WriteBuffer};
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -11,13 +11,11 @@
 
 /// Connections that may wait in the kernel to be accepted.
 const BACKLOG: i32 = 1024;
-/// Pause before capacity is checked again.
-const CAPACITY_POLL: Duration = Duration::from_millis(1);
 /// Pause after a failed accept.
 ///
 /// Why: out of file descriptors, accept fails at once and for long; a loop without a pause would take the core that
 /// could close some.
-const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+pub(crate) const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 
 /// Listens on an address.
 ///
@@ -43,23 +41,10 @@
     listener: TcpListener,
     until: Arc<AtomicBool>,
     each: impl Fn(Socket) + Send + Sync + 'static,
-) {
-    accept_while_capacity(listener, until, || Some(()), move |socket, ()| each(socket));
-}
-
-/// Accepts connections as [`accept_each`] does, but only while `reserve` returns a permit, which is requested before each
-/// connection; connections without one wait in the kernel. A permit is held from before the connection is accepted
-/// until `each` drops it.
-pub fn accept_while_capacity<P: Send + 'static>(
-    listener: TcpListener,
-    until: Arc<AtomicBool>,
-    reserve: impl Fn() -> Option<P> + Send + 'static,
-    each: impl Fn(Socket, P) + Send + Sync + 'static,
 ) {
     let each = Arc::new(each);
     let mut budget = YieldBudget::default();
     spawn(Stack::Usual, move || loop {
-        let permit = wait_for_permit(&reserve);
         let accepted = listener.accept();
         if until.load(Ordering::Acquire) {
             return;
@@ -67,19 +52,10 @@
         match accepted {
             Ok((stream, _)) => {
                 let each = each.clone();
-                spawn(Stack::Usual, move || each(Socket::new(stream), permit));
+                spawn(Stack::Usual, move || each(Socket::new(stream)));
                 budget.spend(); // While connections wait in the kernel, accept never waits.
             }
             Err(_) => sleep(ACCEPT_RETRY),
         }
     });
 }
-
-fn wait_for_permit<P>(reserve: impl Fn() -> Option<P>) -> P {
-    loop {
-        if let Some(permit) = reserve() {
-            return permit;
-        }
-        sleep(CAPACITY_POLL);
-    }
-}
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -144,12 +144,17 @@
         self.wake();
     }
 
+    /// Ends this side in order: the peer gets all that was written, and then the end. What it sends can still be read.
+    pub fn finish_writing(&self) {
+        let _ = self.stream.shutdown(Shutdown::Write); // It may be closed already.
+    }
+
     /// Ends this side, reads what the peer still sends, and closes when the peer has ended too or after
     /// `timeout`.
     ///
     /// Why: if it is closed with bytes unread, the kernel resets the connection and the peer loses what was sent last.
     pub fn finish(&self, timeout: Duration) {
-        let _ = self.stream.shutdown(Shutdown::Write);
+        self.finish_writing();
         self.set_expiry(clock::now() + timeout);
         let mut discarded = [0u8; FINISH_READ_SIZE];
         while matches!(self.read(&mut discarded), Ok(count) if count > 0) {}
--- a/crates/net/src/socket/connect.rs
+++ b/crates/net/src/socket/connect.rs
@@ -36,7 +36,16 @@
         let deadline = clock::now() + timeout.max(MIN_WAIT);
         start_connect(&socket, address)?;
         wait_until_connected(&socket, deadline)?;
-        Ok(take_over(socket))
+        Ok(Socket::adopt(socket.into()))
+    }
+
+    /// Takes over a stream that is connected. Call in the coroutine that will use it: where the stream can't be registered
+    /// for events, this panics, which ends that coroutine.
+    #[allow(unsafe_code)]
+    pub(crate) fn adopt(stream: std::net::TcpStream) -> Socket {
+        // SAFETY: `into_raw_fd` gives up the ownership of the open descriptor, which has no other owner. may has no safe way to
+        // adopt a stream.
+        Socket::new(unsafe { TcpStream::from_raw_fd(stream.into_raw_fd()) })
     }
 }
 
@@ -68,10 +77,3 @@
         pause = (pause * 2).min(MAX_POLL_PAUSE);
     }
 }
-
-#[allow(unsafe_code)]
-fn take_over(socket: socket2::Socket) -> Socket {
-    // SAFETY: the descriptor was made by `connect`, and `into_raw_fd` gives up its ownership: it has no other owner. may has
-    // no safe way to adopt a stream.
-    Socket::new(unsafe { TcpStream::from_raw_fd(socket.into_raw_fd()) })
-}
--- a/crates/node/src/connection_table.rs
+++ b/crates/node/src/connection_table.rs
@@ -70,6 +70,11 @@
         self.slots_in_use.fetch_sub(1, Ordering::AcqRel);
     }
 
+    /// All connections.
+    pub(crate) fn all(&self) -> Vec<Arc<ViewerConnection>> {
+        self.connections().values().cloned().collect()
+    }
+
     /// Whether anything is pending on any connection, or may be on those that wait to be accepted where no slot is free.
     pub(crate) fn has_pending_work(&self, now: Time, unread: UnreadInput) -> bool {
         if unread == UnreadInput::Include && self.is_full.load(Ordering::Acquire) {
@@ -91,17 +96,13 @@
     /// used.
     fn close_least_used(&self) {
         let connections = self.connections();
-        if connections
-            .values()
-            .any(|connection| connection.outbox.socket().is_closed())
-        {
+        if connections.values().any(|connection| !connection.is_open()) {
             return;
         }
         let now = clock::now();
         let least_used = connections
             .values()
             .filter(|connection| !connection.has_pending_work(now, UnreadInput::Include))
-            .filter(|connection| !connection.outbox.socket().is_closed())
             .min_by_key(|connection| {
                 (
                     connection.has_sent_message.load(Ordering::Relaxed),
--- a/crates/node/src/event_loop/client_notifications.rs
+++ b/crates/node/src/event_loop/client_notifications.rs
@@ -10,9 +10,10 @@
 impl EventLoop {
     /// Sends to a viewer's connection; false if it is closed.
     pub(super) fn send_to_viewer(&self, connection: ConnectionId, bytes: &[u8]) -> bool {
-        let is_accepted = self.connections.get(&connection).is_some_and(|connection| {
-            !connection.outbox.socket().is_closed() && connection.outbox.push(bytes)
-        });
+        let is_accepted = self
+            .connections
+            .get(&connection)
+            .is_some_and(|connection| connection.is_open() && connection.outbox.push(bytes));
         if !is_accepted {
             tracing::debug!(
                 connection_id = connection.0,
--- a/crates/node/src/event_loop/client_requests.rs
+++ b/crates/node/src/event_loop/client_requests.rs
@@ -39,6 +39,11 @@
         set_up: &viewers::SetUp,
         received_at: Time,
     ) {
+        if self.is_closing(connection) {
+            // It crossed the close, so its viewer sends it once more, on another connection.
+            tracing::debug!(session_id = %set_up.tag, connection_id = connection.0, "set-up not accepted, its connection is closing");
+            return;
+        }
         let request = self.read_set_up(set_up);
         if self.players.contains_key(&set_up.tag) {
             return self.handle_duplicate(connection, set_up.tag, request.as_ref().ok());
@@ -54,6 +59,12 @@
         }
     }
 
+    fn is_closing(&self, connection: ConnectionId) -> bool {
+        self.connections
+            .get(&connection)
+            .is_some_and(|connection| connection.is_closing())
+    }
+
     /// A set-up under the id of another one. An adoption may name a session that is known already, and is ignored. For any other
     /// the connection is closed without an answer. Why: an answer names the id, and would be taken for the other set-up's.
     fn handle_duplicate(
--- a/crates/node/src/event_loop/core_driver.rs
+++ b/crates/node/src/event_loop/core_driver.rs
@@ -4,7 +4,10 @@
 use crankpaddle_net::clock;
 use crankpaddle_node_protocol::{rtsp, Tag};
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
+/// Decisions that take longer are logged: answers of servers wait meanwhile.
+const SLOW_DECISION: Duration = Duration::from_millis(2);
 /// The session that health checks name: no viewer's set-up has it.
 const HEALTH_CHECK_SESSION: &str = "0000000000000000";
 
@@ -32,6 +35,19 @@
 
     /// Lets the policy decide on what was received, and timers that are due expire.
     pub(super) fn decide(&mut self) {
+        let started_at = clock::now();
+        self.decide_all();
+        let elapsed = clock::now().duration_since(started_at);
+        if elapsed >= SLOW_DECISION {
+            tracing::debug!(
+                elapsed_us = elapsed.as_micros(),
+                pending = self.core.waiting(),
+                "slow decision"
+            );
+        }
+    }
+
+    fn decide_all(&mut self) {
         self.with_core(Core::expire);
         loop {
             while !self.pending_inputs.is_empty() {
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -173,6 +173,7 @@
                 self.run_maintenance(now);
             }
             self.decide();
+            self.close_resting_connections();
             self.trace_load_estimates(now, &mut schedule);
             if schedule.counts_log.is_due(now) {
                 self.log_counts();
--- a/crates/node/src/event_loop/shutdown.rs
+++ b/crates/node/src/event_loop/shutdown.rs
@@ -1,14 +1,18 @@
-//! Graceful shutdown: new set-ups are rejected, and the node ends when no work is pending.
+//! Graceful shutdown: new set-ups are rejected, connections are closed in order, and the node ends when none is left.
+//!
+//! Clients go on sending until the process is killed, and what the machine has accepted for a process that ends is lost. So
+//! the node never ends under an open connection: it closes each one first, when nothing is pending on it, right after an
+//! answer where possible. A set-up that crosses that close is sent once more by its client, on a new connection.
 use super::EventLoop;
-use crate::viewer_connection::UnreadInput;
-use crankpaddle_front::Input;
+use crate::viewer_connection::{UnreadInput, ViewerConnection};
+use crankpaddle_front::{Input, Time};
 use crankpaddle_net::{clock, sleep};
 use std::time::Duration;
 
 /// How long requests may still arrive after the drain began.
 const ARRIVAL_PERIOD: Duration = Duration::from_millis(900);
-/// How much longer unread input keeps the node running; after that, only a client that never stops sending has any.
-const UNREAD_PERIOD: Duration = Duration::from_secs(2);
+/// How much longer clients that never stop sending, or do not close, keep the node running.
+const CLOSE_PERIOD: Duration = Duration::from_secs(2);
 /// How long all sockets are read before the node ends.
 const FINAL_READ: Duration = Duration::from_millis(20);
 
@@ -23,36 +27,79 @@
         self.notify_core(Input::Drain);
     }
 
-    /// Whether no work is pending, checked twice; in the pause between the checks the sockets are read.
+    /// Whether `period` has passed since the drain began.
+    fn is_past(&self, now: Time, period: Duration) -> bool {
+        self.drain_started_at
+            .is_some_and(|started_at| now > started_at + period)
+    }
+
+    /// Closes connections on which nothing is pending, once no new ones are opened any more.
+    pub(super) fn close_resting_connections(&self) {
+        let now = clock::now();
+        if !self.is_past(now, ARRIVAL_PERIOD) {
+            return;
+        }
+        let connections = self.shared.connections.all();
+        let mut open = connections
+            .iter()
+            .filter(|connection| connection.is_open())
+            .count();
+        for connection in connections {
+            let is_resting =
+                connection.is_open() && !connection.has_pending_work(now, UnreadInput::Include);
+            if is_resting && self.may_close(&connection, open) {
+                tracing::debug!(connection_id = connection.id.0, "closing for shutdown");
+                connection.begin_close();
+                open -= 1;
+            }
+        }
+    }
+
+    /// Whether a connection may be closed, of so many that are open.
+    ///
+    /// Why those that are quiet stay while sessions play: the end of a session must be sent to its viewer, on any connection.
+    /// One that is still sent on is closed, since the process may be killed between a set-up and its answer.
+    fn may_close(&self, connection: &ViewerConnection, open: usize) -> bool {
+        if self.core.playing() == 0 && self.unsent_notifications.is_empty() {
+            return true;
+        }
+        open > 1 && self.is_past(connection.last_used(), ARRIVAL_PERIOD)
+    }
+
+    /// Whether no work is pending and no connection is left, checked twice; between the checks the connections that wait to be
+    /// accepted are, and all sockets are read.
     pub(super) fn has_ended(&self) -> bool {
         if self.has_pending_work() {
             return false;
         }
+        self.shared.stop_accepting();
         sleep(FINAL_READ);
-        !self.has_pending_work()
+        let is_overdue = self.is_past(clock::now(), ARRIVAL_PERIOD + CLOSE_PERIOD);
+        (is_overdue || self.shared.has_stopped_accepting()) && !self.has_pending_work()
     }
 
     /// Why: when the process ends, input that is unread or unhandled and output that is unsent are lost, even if each handled
-    /// set-up was answered. A client that never stops sending, or never reads an answer, delays the end by no more than
-    /// the periods above.
+    /// set-up was answered. A client that never stops sending, never reads an answer, or does not close its connection
+    /// delays the end by no more than the periods above.
     fn has_pending_work(&self) -> bool {
-        let Some(started_at) = self.drain_started_at else {
-            return true;
-        };
         let now = clock::now();
-        let is_over = |period| now > started_at + period;
-        if !is_over(ARRIVAL_PERIOD)
+        if !self.is_past(now, ARRIVAL_PERIOD)
             || self.core.waiting() > 0
             || self.core.playing() > 0
             || !self.unsent_notifications.is_empty()
         {
             return true;
         }
-        let unread = if is_over(ARRIVAL_PERIOD + UNREAD_PERIOD) {
-            UnreadInput::Ignore
-        } else {
-            UnreadInput::Include
-        };
-        self.shared.connections.has_pending_work(now, unread)
+        if self.is_past(now, ARRIVAL_PERIOD + CLOSE_PERIOD) {
+            return self
+                .shared
+                .connections
+                .has_pending_work(now, UnreadInput::Ignore);
+        }
+        self.shared.connections.count() > 0
+            || self
+                .shared
+                .connections
+                .has_pending_work(now, UnreadInput::Include)
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -29,7 +29,7 @@
 use event_loop::EventLoop;
 use shared::{InboxMessage, Shared};
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{mpsc, Arc, Mutex, PoisonError};
 
@@ -67,12 +67,12 @@
             let _ = finished.send(()); // The node may have been dropped.
         });
         let (for_slots, for_viewers) = (shared.clone(), shared.clone());
-        accept_while_capacity(
+        let acceptor = accept_while_capacity(
             listener,
-            stopped.clone(),
             move || viewer_reader::acquire_slot(&for_slots),
             move |socket, slot| viewer_reader::serve(socket, &slot, &for_viewers),
         );
+        shared.set_acceptor(acceptor);
         tracing::info!(%address, "listening");
         Ok(Node {
             address,
@@ -114,7 +114,6 @@
             .unwrap_or_else(PoisonError::into_inner)
             .recv();
         self.stopped.store(true, Ordering::Release);
-        let _ = TcpStream::connect(self.address); // Wakes the listener, which finds that it is stopped.
     }
 
     /// What the node holds now. All counts return to zero when no connection and no session is left.
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -3,7 +3,7 @@
 use crate::connection_table::ConnectionTable;
 use crate::health::ConnectFailure;
 use crate::viewer_connection::{ConnectionId, ViewerConnection};
-use crankpaddle_net::{CloseReason, IdleSweeper, ReadEnd, WriteBuffer};
+use crankpaddle_net::{AcceptHandle, CloseReason, IdleSweeper, ReadEnd, WriteBuffer};
 use crankpaddle_node_protocol::config::Config;
 use crankpaddle_node_protocol::directory::List;
 use crankpaddle_node_protocol::{rtsp, viewers};
@@ -11,7 +11,7 @@
 use may::sync::mpsc::{channel, Receiver, Sender};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
 /// A connection to a server; never used twice.
@@ -102,6 +102,7 @@
     pub(crate) entries: AtomicUsize,
     inbox: Sender<InboxMessage>,
     nameserver: Mutex<SocketAddr>,
+    acceptor: OnceLock<AcceptHandle>,
 }
 
 /// How often connections are checked for expiry.
@@ -122,6 +123,7 @@
             entries: AtomicUsize::new(0),
             inbox,
             nameserver: Mutex::new(config.nameserver),
+            acceptor: OnceLock::new(),
             config,
         };
         (Arc::new(shared), receiver)
@@ -146,6 +148,22 @@
             .unwrap_or_else(PoisonError::into_inner) = address;
     }
 
+    pub(crate) fn set_acceptor(&self, acceptor: AcceptHandle) {
+        let _ = self.acceptor.set(acceptor); // It is set once, at the start.
+    }
+
+    /// Accepts the connections that are established, and then no more.
+    pub(crate) fn stop_accepting(&self) {
+        if let Some(acceptor) = self.acceptor.get() {
+            acceptor.stop();
+        }
+    }
+
+    /// Whether no further connection will be accepted.
+    pub(crate) fn has_stopped_accepting(&self) -> bool {
+        self.acceptor.get().is_some_and(AcceptHandle::has_stopped)
+    }
+
     pub(crate) fn counts(&self) -> Counts {
         Counts {
             waiting: self.waiting.load(Ordering::Relaxed),
--- a/crates/node/src/viewer_connection.rs
+++ b/crates/node/src/viewer_connection.rs
@@ -1,9 +1,12 @@
 //! A viewer's connection as all parts of the node see it, and the work that is pending on it.
-use crankpaddle_net::WriteBuffer;
+use crankpaddle_net::{clock, WriteBuffer};
 use crankpaddle_time::{AtomicTime, Time};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
+/// How long a connection that this side has ended stays open for its viewer to end it too.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// A viewer's connection; never used twice.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct ConnectionId(pub(crate) u64);
@@ -33,6 +36,8 @@
     pub(crate) has_sent_message: AtomicBool,
     /// When something last came of it.
     last_used: AtomicTime,
+    /// Whether this side has ended it in order: no message is sent and no set-up accepted on it any more.
+    is_closing: AtomicBool,
 }
 
 impl ViewerConnection {
@@ -46,6 +51,7 @@
             output_deadline: AtomicTime::new(Time::ZERO),
             has_sent_message: AtomicBool::new(false),
             last_used: AtomicTime::new(now),
+            is_closing: AtomicBool::new(false),
         }
     }
 
@@ -67,6 +73,34 @@
         self.last_used.store(now, Ordering::Relaxed);
     }
 
+    /// Ends this side of the connection in order. Its reader goes on until the viewer has ended it too, or for
+    /// [`CLOSE_TIMEOUT`].
+    ///
+    /// Why not both sides at once: with input unread or arriving, the kernel would reset the connection, and the viewer could
+    /// not tell a set-up that crossed the close, which it may send once more, from one that was open.
+    pub(crate) fn begin_close(&self) {
+        self.is_closing.store(true, Ordering::Release);
+        let socket = self.outbox.socket();
+        socket.finish_writing();
+        socket.set_expiry(clock::now() + CLOSE_TIMEOUT);
+    }
+
+    pub(crate) fn is_closing(&self) -> bool {
+        self.is_closing.load(Ordering::Acquire)
+    }
+
+    /// Whether messages can be sent on it.
+    pub(crate) fn is_open(&self) -> bool {
+        !self.is_closing() && !self.outbox.socket().is_closed()
+    }
+
+    /// Sets when the connection expires, unless it is closing, which has a deadline of its own.
+    pub(crate) fn set_expiry(&self, at: Time) {
+        if !self.is_closing() {
+            self.outbox.socket().set_expiry(at);
+        }
+    }
+
     /// Whether something that was read, handled or not, has no answer.
     fn has_unanswered_input(&self) -> bool {
         self.queued_messages.load(Ordering::Acquire) > 0
@@ -91,6 +125,9 @@
         if self.outbox.socket().is_closed() {
             return false;
         }
+        if self.is_closing() {
+            return self.queued_messages.load(Ordering::Acquire) > 0;
+        }
         if has_pending_set_ups || has_output {
             return true;
         }
--- a/crates/node/src/viewer_reader.rs
+++ b/crates/node/src/viewer_reader.rs
@@ -107,7 +107,7 @@
 
     fn pass_messages_on(&mut self, now: Time) {
         let connection = self.connection;
-        connection.outbox.socket().set_expiry(Time::MAX);
+        connection.set_expiry(Time::MAX);
         connection.has_sent_message.store(true, Ordering::Relaxed);
         connection.set_last_used(now);
         connection
@@ -129,7 +129,7 @@
         let is_new = has_complete_message || !self.has_partial_message;
         if is_partial && is_new {
             let deadline = connection.message_deadline(now, MESSAGE_TIMEOUT);
-            connection.outbox.socket().set_expiry(deadline);
+            connection.set_expiry(deadline);
         }
         self.has_partial_message = is_partial;
         connection
