Node: a message is delivered when its viewer's machine has it, not when the kernel took it

Cause: send_notification and send_established took 'accepted by the kernel' for 'delivered'; the first never sent again, the second ignored the result altogether. The class: an acknowledgement that nobody gave.

At the end of a connection the kernel tells the bytes that the peer has acknowledged (SIOCOUTQ), and a reset tells that some may be unread: such releases go out on another connection, and a session whose answer is missing is released at its server. Where the kernel does not report, only a reset counts.

Why it works: a machine that closes with input unread resets, one that has closed does not acknowledge; nothing else discards bytes.

--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -19,6 +19,8 @@
 
 /// Requests the bytes of a TCP connection that the kernel has not sent yet (Linux, `linux/sockios.h`).
 const SIOCOUTQNSD: libc::Ioctl = 0x894B;
+/// Requests the bytes of a TCP connection that its peer has not acknowledged yet (Linux, SIOCOUTQ in `linux/sockios.h`).
+const SIOCOUTQ: libc::Ioctl = 0x5411;
 /// Bytes read at once while the end of the connection is awaited; they are discarded.
 const FINISH_READ_SIZE: usize = 512;
 
@@ -198,16 +200,22 @@
 
     /// Bytes that were written and that the kernel has not sent yet; 0 where it does not report them.
     #[must_use]
-    #[allow(unsafe_code)]
     pub fn unsent(&self) -> usize {
+        self.queued_bytes(SIOCOUTQNSD).unwrap_or(0)
+    }
+
+    /// Bytes that were written and that the peer's machine has not acknowledged; `None` where the kernel does not report them.
+    #[must_use]
+    pub fn unacknowledged(&self) -> Option<usize> {
+        self.queued_bytes(SIOCOUTQ)
+    }
+
+    #[allow(unsafe_code)]
+    fn queued_bytes(&self, request: libc::Ioctl) -> Option<usize> {
         let mut bytes: libc::c_int = 0;
         // SAFETY: the descriptor is open as long as `self` is, and the kernel writes one int.
-        let status = unsafe { libc::ioctl(self.stream.as_raw_fd(), SIOCOUTQNSD, &mut bytes) };
-        if status == 0 {
-            usize::try_from(bytes).unwrap_or(0)
-        } else {
-            0
-        }
+        let status = unsafe { libc::ioctl(self.stream.as_raw_fd(), request, &mut bytes) };
+        (status == 0).then(|| usize::try_from(bytes).unwrap_or(0))
     }
 
     /// Closes the connection and discards what the kernel has not sent yet, if possible.
--- a/crates/net/src/write_buffer.rs
+++ b/crates/net/src/write_buffer.rs
@@ -1,7 +1,8 @@
 //! A bounded buffer of what is sent to a peer that may not read; senders never wait.
 use crate::yield_budget::YieldBudget;
 use crate::{CloseReason, Socket};
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// How the reading of a connection ended.
@@ -30,6 +31,8 @@
     socket: Arc<Socket>,
     max_pending: usize,
     pending: Mutex<Vec<u8>>,
+    /// Bytes that the kernel has accepted, in all.
+    accepted: AtomicU64,
 }
 
 impl WriteBuffer {
@@ -40,6 +43,7 @@
             socket,
             max_pending,
             pending: Mutex::new(Vec::new()),
+            accepted: AtomicU64::new(0),
         }
     }
 
@@ -49,6 +53,28 @@
         &self.socket
     }
 
+    /// Where what was pushed until now ends, counted in bytes from the start of the connection.
+    #[must_use]
+    pub fn end_position(&self) -> u64 {
+        let pending = self.lock_pending();
+        self.accepted.load(Ordering::Relaxed) + pending.len() as u64
+    }
+
+    /// Up to where the peer's machine has acknowledged what was pushed; `None` where the kernel does not report it.
+    #[must_use]
+    pub fn acknowledged_position(&self) -> Option<u64> {
+        let unacknowledged = self.socket.unacknowledged()? as u64;
+        let accepted = self.accepted.load(Ordering::Relaxed);
+        Some(accepted.saturating_sub(unacknowledged))
+    }
+
+    /// Writes what the kernel accepts, and counts it.
+    fn write(&self, bytes: &[u8]) -> io::Result<usize> {
+        let accepted = self.socket.try_write(bytes)?;
+        self.accepted.fetch_add(accepted as u64, Ordering::Relaxed);
+        Ok(accepted)
+    }
+
     /// Whether no bytes wait: the kernel has accepted all that was pushed.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -78,7 +104,7 @@
 
     fn try_push(&self, pending: &mut Vec<u8>, bytes: &[u8]) -> Result<(), PushError> {
         let sent = if pending.is_empty() {
-            self.socket.try_write(bytes)
+            self.write(bytes)
         } else {
             Ok(0) // Bytes go out in order.
         };
@@ -123,7 +149,7 @@
     pub fn flush(&self) -> bool {
         let mut pending = self.lock_pending();
         while !pending.is_empty() {
-            match self.socket.try_write(&pending) {
+            match self.write(&pending) {
                 Ok(0) => return false,
                 Ok(sent) => {
                     pending.drain(..sent);
--- a/crates/node/src/event_loop/client_notifications.rs
+++ b/crates/node/src/event_loop/client_notifications.rs
@@ -1,5 +1,6 @@
 //! What viewers are sent: answers to their set-ups, and the end of their sessions.
 use super::client_requests::retry_after_ms;
+use super::delivery::{Certainty, Delivery};
 use super::session::RemovalReason;
 use super::{ConnectionId, EventLoop, UnsentMessage, RELEASE_RETRY_PERIOD};
 use crankpaddle_front::{Answer, Notification, PlayerId, RejectReason, SessionEndReason};
@@ -59,7 +60,11 @@
         self.set_up_answered(connection);
         self.session_connections.retain(|id| *id != connection);
         self.session_connections.push(connection);
-        self.send_to_viewer(connection, &message);
+        if self.send_to_viewer(connection, &message) {
+            self.keep_answer(connection, player);
+        } else {
+            self.end_session(player, RemovalReason::AnswerUndelivered);
+        }
     }
 
     fn send_finish(&mut self, player: PlayerId, cause: u16, retry_after_ms: Option<u64>) {
@@ -85,27 +90,88 @@
     }
 
     /// Sends the end of a session on its connection or on another.
+    fn send_notification(&mut self, connection: ConnectionId, bytes: Vec<u8>) {
+        let expires_at = clock::now() + RELEASE_RETRY_PERIOD;
+        if let Some(connection) = self.connections.get(&connection) {
+            connection.extend_output_deadline(expires_at);
+        }
+        let message = UnsentMessage { expires_at, bytes };
+        if self.send_to_viewer(connection, &message.bytes) {
+            return self.keep_notification(connection, message);
+        }
+        self.send_on_other_connection(message);
+    }
+
+    /// Sends the end of a session on a connection that is not its own.
     ///
     /// Why only connections that had a session are used, the latest first: any other may belong to an unrelated client, which
     /// would drop the notification.
-    fn send_notification(&mut self, connection: ConnectionId, message: Vec<u8>) {
-        if let Some(connection) = self.connections.get(&connection) {
-            connection.extend_output_deadline(clock::now() + RELEASE_RETRY_PERIOD);
+    fn send_on_other_connection(&mut self, message: UnsentMessage) {
+        let mut others = self.session_connections.iter().rev().copied();
+        match others.find(|other| self.send_to_viewer(*other, &message.bytes)) {
+            Some(connection) => self.keep_notification(connection, message),
+            None => self.unsent_notifications.push_back(message),
         }
-        if self.send_to_viewer(connection, &message) {
-            return;
+    }
+
+    /// Keeps a notification that a connection has accepted, in case that it is not delivered.
+    pub(super) fn keep_notification(&mut self, connection: ConnectionId, message: UnsentMessage) {
+        if let Some(viewer) = self.connections.get(&connection) {
+            let expires_at = message.expires_at;
+            self.sent_to_viewers.keep(
+                connection,
+                &viewer.outbox,
+                SentMessage::Notification(message.bytes),
+                expires_at,
+            );
         }
-        let mut others = self.session_connections.iter().rev();
-        if others.any(|other| self.send_to_viewer(*other, &message)) {
-            return;
+    }
+
+    fn keep_answer(&mut self, connection: ConnectionId, player: PlayerId) {
+        if let Some(viewer) = self.connections.get(&connection) {
+            self.sent_to_viewers.keep(
+                connection,
+                &viewer.outbox,
+                SentMessage::Established(player),
+                clock::now() + RELEASE_RETRY_PERIOD,
+            );
+        }
+    }
+
+    /// A connection has ended, and some of what it had accepted may not have reached its viewer.
+    ///
+    /// The ends of sessions are sent again: twice does no harm, never is a session that its viewer takes for playing. A session
+    /// whose answer did not reach its viewer's machine is released, as if the viewer had left right before the answer.
+    pub(super) fn resend_undelivered(&mut self, connection: ConnectionId, delivery: Delivery) {
+        for (message, certainty, expires_at) in
+            self.sent_to_viewers.take_undelivered(connection, delivery)
+        {
+            match message {
+                SentMessage::Notification(bytes) => {
+                    tracing::debug!(
+                        connection_id = connection.0,
+                        ?certainty,
+                        "notification sent again"
+                    );
+                    self.send_on_other_connection(UnsentMessage { expires_at, bytes });
+                }
+                SentMessage::Established(player) if certainty == Certainty::Missing => {
+                    self.end_session(player, RemovalReason::AnswerUndelivered);
+                }
+                SentMessage::Established(_) => {} // It may have been read, and the session play.
+            }
         }
-        self.unsent_notifications.push_back(UnsentMessage {
-            expires_at: clock::now() + RELEASE_RETRY_PERIOD,
-            bytes: message,
-        });
     }
 }
 
+/// A message that a viewer's connection has accepted.
+pub(super) enum SentMessage {
+    /// The answer that this player's session plays.
+    Established(PlayerId),
+    /// The end of a session.
+    Notification(Vec<u8>),
+}
+
 fn rejection_cause(reason: RejectReason) -> u16 {
     match reason {
         RejectReason::NoCapacity | RejectReason::CrossZoneForbidden => cause::NO_CAPACITY,
--- a/crates/node/src/event_loop/client_requests.rs
+++ b/crates/node/src/event_loop/client_requests.rs
@@ -252,9 +252,10 @@
     }
 
     /// The viewer wants nothing more of this session.
-    fn end_session(&mut self, player: PlayerId, reason: RemovalReason) {
-        self.remove_session(player, reason);
-        self.notify_core(Input::Leave(player));
+    pub(super) fn end_session(&mut self, player: PlayerId, reason: RemovalReason) {
+        if self.remove_session(player, reason).is_some() {
+            self.notify_core(Input::Leave(player));
+        }
     }
 
     pub(super) fn viewer_disconnected(&mut self, id: ConnectionId) {
--- a/crates/node/src/event_loop/maintenance.rs
+++ b/crates/node/src/event_loop/maintenance.rs
@@ -89,6 +89,7 @@
             self.maintain_server(server, now);
         }
         self.close_unresponsive_links(now);
+        self.sent_to_viewers.remove_expired(now);
         self.retry_notifications(now);
         self.publish_entries();
     }
@@ -142,9 +143,10 @@
             .rev()
             .copied()
             .chain(have_sent);
-        let is_sent = candidates.any(|id: ConnectionId| self.send_to_viewer(id, &message.bytes));
-        if !is_sent {
-            self.unsent_notifications.push_back(message);
+        let sent_on = candidates.find(|id: &ConnectionId| self.send_to_viewer(*id, &message.bytes));
+        match sent_on {
+            Some(connection) => self.keep_notification(connection, message),
+            None => self.unsent_notifications.push_back(message),
         }
     }
 
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - `session`, `attempt`, `link`, `server`: the records of its tables;
 //! - `client_requests`, `client_notifications`: what viewers send and are sent;
+//! - `delivery`: what becomes of messages that the kernel accepted;
 //! - `server_messages`, `set_up_responses`: what servers send;
 //! - `attempt_dispatch`, `attempt_lifecycle`: an attempt from the decision to its end;
 //! - `server_links`, `server_liveness`: connections to servers, and what their loss means for sessions;
@@ -15,6 +16,7 @@
 mod client_notifications;
 mod client_requests;
 mod core_driver;
+pub(crate) mod delivery;
 mod endpoint_list;
 mod link;
 mod maintenance;
@@ -31,6 +33,7 @@
 use crate::viewer_connection::{ConnectionId, ViewerConnection};
 use attempt::Attempt;
 use attempt_dispatch::{QueuedAttempt, RECHECK_INTERVAL};
+use client_notifications::SentMessage;
 use crankpaddle_front::{
     AttemptId, Core, CoreConfig, EndpointListKind, EventObserver, Input, Output, PlayerId,
     ServerId, Time,
@@ -40,6 +43,7 @@
 use crankpaddle_node_protocol::viewers::cause;
 use crankpaddle_node_protocol::Tag;
 use crankpaddle_time::nanoseconds;
+use delivery::KeptMessages;
 use endpoint_list::IncompatibleServer;
 use link::Link;
 use maintenance::Schedule;
@@ -82,6 +86,8 @@
     incompatible_servers: Vec<IncompatibleServer>,
     /// Notifications to viewers that no connection accepted.
     unsent_notifications: VecDeque<UnsentMessage>,
+    /// Answers and notifications that a connection accepted.
+    sent_to_viewers: KeptMessages<ConnectionId, SentMessage>,
     last_player: u64,
     last_link: u64,
     /// The cause that a teardown in progress carries.
@@ -145,6 +151,7 @@
             endpoints: BTreeMap::new(),
             incompatible_servers: Vec::new(),
             unsent_notifications: VecDeque::new(),
+            sent_to_viewers: KeptMessages::new(),
             last_player: 0,
             last_link: 0,
             release_cause: cause::CANCELLED,
@@ -262,7 +269,10 @@
                     connection.queued_messages.fetch_sub(1, Ordering::AcqRel);
                 }
             }
-            InboxMessage::ViewerDisconnected(connection) => self.viewer_disconnected(connection),
+            InboxMessage::ViewerDisconnected(connection, delivery) => {
+                self.viewer_disconnected(connection);
+                self.resend_undelivered(connection, delivery);
+            }
             InboxMessage::ConnectCompleted(link, result) => self.connect_completed(link, result),
             InboxMessage::FromServer(link, messages) => {
                 for message in &messages {
--- a/crates/node/src/event_loop/session.rs
+++ b/crates/node/src/event_loop/session.rs
@@ -38,6 +38,8 @@
     FinishedByViewer,
     /// The connection that its set-up came on has ended, so no answer can reach its viewer.
     ViewerDisconnected,
+    /// The connection ended before the answer had reached its viewer's machine.
+    AnswerUndelivered,
 }
 
 impl Session {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,6 +1,7 @@
 //! What all parts of a node share: the event loop's inbox, the viewers' connections, counters.
 use crate::budget::Budget;
 use crate::connection_table::ConnectionTable;
+use crate::event_loop::delivery::Delivery;
 use crate::health::ConnectFailure;
 use crate::viewer_connection::{ConnectionId, ViewerConnection};
 use crankpaddle_net::{AcceptHandle, CloseReason, IdleSweeper, ReadEnd, WriteBuffer};
@@ -43,7 +44,7 @@
         received_at: Time,
     },
     /// A viewer's connection has ended.
-    ViewerDisconnected(ConnectionId),
+    ViewerDisconnected(ConnectionId, Delivery),
     /// A connect to a server completed.
     ConnectCompleted(LinkId, Result<Arc<WriteBuffer>, ConnectFailure>),
     /// A server sent these messages, which were read at once.
--- a/crates/node/src/viewer_reader.rs
+++ b/crates/node/src/viewer_reader.rs
@@ -1,4 +1,5 @@
 //! Reading viewers' connections, and closing those that send nothing in time.
+use crate::event_loop::delivery::Delivery;
 use crate::shared::{increment, InboxMessage, Shared};
 use crate::viewer_connection::ViewerConnection;
 use crankpaddle_net::{clock, CloseReason, ReadEnd, Socket, WriteBuffer};
@@ -42,10 +43,11 @@
     shared.connections.insert(&connection);
     shared.send(InboxMessage::ViewerConnected(connection.clone()));
     let end = Reader::new(&connection, shared).run();
+    let delivery = Delivery::at_end(end, &connection.outbox);
     socket.close(CloseReason::ReadEnded);
     log_end(&connection, end);
     shared.connections.remove(connection.id);
-    shared.send(InboxMessage::ViewerDisconnected(connection.id));
+    shared.send(InboxMessage::ViewerDisconnected(connection.id, delivery));
 }
 
 /// Logs who ended a connection and why, and what was open on it.
