Node: a set-up is held back by the age of its viewer's unread input, not by its own

Cause: dispatch_decision sent a set-up 50 ms after it was queued, whatever lay unread or unhandled on its viewer's connection by then. A node that is busy for 100 ms between two looks sends it with the cancel unread for all that time. The class: a bound that counts from the wrong event.

Change: the reader notes when it last found nothing to read. A set-up waits while a message of its viewer is unhandled, and is sent with input unread only if all that is older than 50 ms was handled; else it is withdrawn at its deadline. An attempt without a viewer is withdrawn instead of dropped from the queue in silence.

Why it works: a cancel that arrived before that moment is handled before, a later one is under 50 ms old.

--- a/crates/net/src/write_buffer.rs
+++ b/crates/net/src/write_buffer.rs
@@ -1,6 +1,7 @@
 //! A bounded buffer of what is sent to a peer that may not read; senders never wait.
 use crate::yield_budget::YieldBudget;
-use crate::{CloseReason, Socket};
+use crate::{clock, CloseReason, Socket};
+use crankpaddle_time::{AtomicTime, Time};
 use std::io::{self, ErrorKind};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -33,6 +34,8 @@
     pending: Mutex<Vec<u8>>,
     /// Bytes that the kernel has accepted, in all.
     accepted: AtomicU64,
+    /// When its reader last found nothing more to read.
+    drained_at: AtomicTime,
 }
 
 impl WriteBuffer {
@@ -44,6 +47,7 @@
             max_pending,
             pending: Mutex::new(Vec::new()),
             accepted: AtomicU64::new(0),
+            drained_at: AtomicTime::new(Time::ZERO),
         }
     }
 
@@ -68,6 +72,12 @@
         Some(accepted.saturating_sub(unacknowledged))
     }
 
+    /// When its reader last found nothing more to read: all that had arrived by then was passed on.
+    #[must_use]
+    pub fn drained_at(&self) -> Time {
+        self.drained_at.load(Ordering::Acquire)
+    }
+
     /// Writes what the kernel accepts, and counts it.
     fn write(&self, bytes: &[u8]) -> io::Result<usize> {
         let accepted = self.socket.try_write(bytes)?;
@@ -127,6 +137,7 @@
             self.flush();
             match self.socket.try_read(&mut piece) {
                 Ok(None) => {
+                    self.drained_at.store(clock::now(), Ordering::Release);
                     self.socket.wait();
                     budget.reset();
                 }
--- a/crates/node/src/event_loop/attempt_dispatch.rs
+++ b/crates/node/src/event_loop/attempt_dispatch.rs
@@ -24,9 +24,11 @@
     ready_since: Time,
 }
 
-/// The longest time that a set-up is deferred while its viewer's connection has unread input, which may contain the cancel. It
-/// must not begin later than a tenth of a second after its viewer has left.
+/// A set-up is deferred for this time while its viewer's connection has unread input, which may contain the cancel.
 const MAX_DEFERRAL: Duration = Duration::from_millis(50);
+/// After that it is sent while some input is unread only if all that arrived earlier than this was handled: a set-up must not
+/// begin later than a tenth of a second after its viewer has left.
+const MAX_INPUT_AGE: Duration = Duration::from_millis(50);
 /// Time after which deferred set-ups are checked again; meanwhile all sockets are read.
 pub(super) const RECHECK_INTERVAL: Duration = Duration::from_millis(1);
 /// How often a link is searched for one set-up of which nothing was written.
@@ -130,14 +132,23 @@
         if !self.core.may_send(now, queued.attempt) {
             return Some(DispatchDecision::Withdraw);
         }
-        let session = self.sessions.get(&attempt.player)?;
-        let connection = self.connections.get(&session.connection)?;
-        let has_queued_messages = connection.queued_messages.load(Ordering::Acquire) > 0;
+        let session = self.sessions.get(&attempt.player);
+        let Some(connection) =
+            session.and_then(|session| self.connections.get(&session.connection))
+        else {
+            return Some(DispatchDecision::Withdraw); // Nobody waits for it.
+        };
+        // What was read and not handled may be the cancel, however long ago it was read.
+        if connection.queued_messages.load(Ordering::Acquire) > 0 {
+            return Some(DispatchDecision::Defer);
+        }
+        let is_deferred_for_long = now >= queued.ready_since + MAX_DEFERRAL;
+        let is_input_recent = now < connection.outbox.drained_at() + MAX_INPUT_AGE;
         Some(match connection.outbox.socket().peer_state() {
+            Peer::Quiet => DispatchDecision::Dispatch,
             Peer::Ended => DispatchDecision::Defer, // Its reader is about to find that it ended.
-            Peer::Quiet if !has_queued_messages => DispatchDecision::Dispatch,
-            _ if now >= queued.ready_since + MAX_DEFERRAL => DispatchDecision::Dispatch,
-            _ => DispatchDecision::Defer,
+            Peer::Unread if is_deferred_for_long && is_input_recent => DispatchDecision::Dispatch,
+            Peer::Unread => DispatchDecision::Defer,
         })
     }
 
--- a/crates/node/tests/races_viewers.rs
+++ b/crates/node/tests/races_viewers.rs
@@ -6,8 +6,12 @@
 use serde_json::json;
 use std::io::Read;
 use std::net::TcpListener;
+use std::time::Duration;
 use support::*;
 
+/// No attempt may begin so long after its viewer has cancelled.
+const CANCEL_PERIOD: Duration = Duration::from_millis(100);
+
 fn is_session_request(event: &Event) -> bool {
     matches!(event, Event::SessionRequested(_))
 }
@@ -139,3 +143,34 @@
         all.len()
     );
 }
+
+/// Guards against a set-up that is sent although its cancel has lain unread for longer than a tenth of a second, because the
+/// node was busy with other decisions.
+#[test]
+fn a_cancel_that_lies_unread_while_the_node_is_busy_withdraws_its_set_up() {
+    let _alone = alone();
+    let (gate, observer) = Gate::at(is_session_request);
+    let harness = Harness::start_observed(1, |_| {}, Some(observer));
+    let (mut cancelling, mut other) = (harness.viewer(), harness.viewer());
+    harness.establish(&mut other, tag(3), FREE); // So that there is a link, and no connect gives it time.
+    gate.arm();
+    cancelling.start(tag(1), FREE, 15_000);
+    gate.wait_until_reached();
+    // Its set-up is deferred, since something is unread, and the node is busy again when it could be sent.
+    cancelling.send_json(&json!({"verb": "ECHO", "tag": tag(9).as_str(), "opts": {}, "rc": 0}));
+    other.start(tag(2), PAID, 15_000);
+    gate.arm();
+    gate.open();
+    gate.wait_until_reached();
+    cancelling.finish(tag(1), 16);
+    std::thread::sleep(CANCEL_PERIOD); // The rule itself is one of time.
+    gate.open();
+    assert_eq!(cancelling.next_message()["verb"], "ECHOED");
+    assert_eq!(cancelling.next_message()["verb"], "FINISHED");
+    let (_, set_up) = harness.servers[0].wait_for_request("SETUP");
+    assert_eq!(set_up.session, Some(tag(2)), "the cancelled one was sent");
+    assert!(
+        !harness.servers[0].has_received_set_up(),
+        "the cancelled one was sent"
+    );
+}
