Node: a panic of the event loop ends the process with status 1 and a reason

A supervisor that restarts on failure only would have left the node down.

Change: Node::wait tells both apart; the program prints the reason and exits with 1. A test panics in the event loop.

--- a/crates/cli/src/front.rs
+++ b/crates/cli/src/front.rs
@@ -17,8 +17,9 @@
         Daemon::drain(self);
     }
 
-    fn wait(&self) {
+    fn wait(&self) -> Result<(), CommandFailure> {
         Daemon::wait(self);
+        Ok(())
     }
 }
 
@@ -61,6 +62,6 @@
     let signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     crankpaddle_net::start(config.workers);
     let daemon = Daemon::start(config).map_err(|error| CommandFailure::with_advice(&error))?;
-    lifecycle::run_until_drained(daemon, signals, move |daemon| reload(daemon, &path));
+    lifecycle::run_until_drained(daemon, signals, move |daemon| reload(daemon, &path))?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/cli/src/lifecycle.rs
+++ b/crates/cli/src/lifecycle.rs
@@ -1,4 +1,5 @@
 //! What the long-running commands share: signals and the announcement of the address.
+use crate::failure::CommandFailure;
 use signal_hook::consts::SIGHUP;
 use signal_hook::iterator::Signals;
 use std::io::Write;
@@ -14,15 +15,23 @@
     fn drain(&self);
 
     /// Blocks until the shutdown is complete.
-    fn wait(&self);
+    ///
+    /// # Errors
+    ///
+    /// The service stopped by a fault of its own.
+    fn wait(&self) -> Result<(), CommandFailure>;
 }
 
 /// Runs the service until a signal ends it: SIGHUP reloads, each other signal begins the graceful shutdown.
+///
+/// # Errors
+///
+/// The service stopped by a fault of its own.
 pub(crate) fn run_until_drained<S: Service>(
     service: S,
     signals: Signals,
     reload: impl Fn(&S) + Send + 'static,
-) {
+) -> Result<(), CommandFailure> {
     let service = Arc::new(service);
     let signalled = service.clone();
     let draining = service.clone();
@@ -32,7 +41,7 @@
         move || draining.drain(),
     );
     announce_address(service.address());
-    service.wait();
+    service.wait()
 }
 
 /// Calls `reload` at each SIGHUP and `shut_down` at each other signal, on a thread of its own.
--- a/crates/cli/src/node.rs
+++ b/crates/cli/src/node.rs
@@ -28,8 +28,8 @@
         Node::drain(self);
     }
 
-    fn wait(&self) {
-        Node::wait(self);
+    fn wait(&self) -> Result<(), CommandFailure> {
+        Node::wait(self).map_err(CommandFailure::failed)
     }
 }
 
@@ -117,6 +117,6 @@
     let address = config.listen;
     let node = Node::start(config)
         .map_err(|error| CommandFailure::failed(format_args!("{address}: {error}")))?;
-    lifecycle::run_until_drained(node, signals, move |node| reload(node, &path));
+    lifecycle::run_until_drained(node, signals, move |node| reload(node, &path))?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -33,6 +33,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{mpsc, Arc, Mutex, PoisonError};
 
+/// The event loop has panicked; the panic itself is on standard error.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the event loop has panicked, nothing is answered any more")]
+pub struct EventLoopPanicked;
+
 /// A running front node.
 pub struct Node {
     address: SocketAddr,
@@ -107,13 +112,17 @@
     }
 
     /// Waits for the end that [`Node::drain`] brings. Call on a thread, not in a coroutine.
-    pub fn wait(&self) {
-        let _ = self
+    ///
+    /// # Errors
+    /// The event loop has panicked: nothing is answered any more, and the process is to end.
+    pub fn wait(&self) -> Result<(), EventLoopPanicked> {
+        let result = self
             .done
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .recv();
         self.stopped.store(true, Ordering::Release);
+        result.map_err(|_| EventLoopPanicked)
     }
 
     /// What the node holds now. All counts return to zero when no connection and no session is left.
--- a/crates/node/tests/races_shutdown.rs
+++ b/crates/node/tests/races_shutdown.rs
@@ -27,7 +27,7 @@
     let (sender, ended) = std::sync::mpsc::channel();
     let node = harness.node.clone();
     std::thread::spawn(move || {
-        node.wait();
+        assert_eq!(node.wait(), Ok(()));
         let _ = sender.send(()); // The test may be over.
     });
     ended
@@ -136,3 +136,22 @@
         flood.try_send(idle.as_bytes());
     }
 }
+
+/// Guards against a process that lives on and answers nothing, or ends as if all were well, after its event loop has panicked.
+#[test]
+fn a_panic_of_the_event_loop_is_reported_to_who_waits_for_the_node() {
+    let _alone = alone();
+    let harness = Harness::start_observed(
+        1,
+        |_| {},
+        Some(Box::new(|_, event| {
+            assert!(!matches!(event, Event::SessionRequested(_)), "a fault");
+        })),
+    );
+    let mut viewer = harness.viewer();
+    viewer.start(tag(1), FREE, 15_000);
+    assert_eq!(
+        harness.node.wait(),
+        Err(crankpaddle_node::EventLoopPanicked)
+    );
+}
--- a/crates/node/tests/sessions.rs
+++ b/crates/node/tests/sessions.rs
@@ -304,5 +304,5 @@
         );
         assert_eq!(viewer.next_message()["verb"], "FINISH");
     }
-    harness.node.wait();
+    assert_eq!(harness.node.wait(), Ok(()));
 }
