Node: a set-up read on a connection that the node has closed is not accepted

Related path of the close by a look and then a close: on a connection closed for its descriptor, for silence or for a duplicate id, what lay in the kernel was still read, opened as a set-up, decided on and ended in silence a moment later. Its client sends it once more, under the same id, and the second copy could meet the first and be closed as a duplicate.

Change: whatever closed the connection on this side, a set-up read after that is logged and not accepted; so the copy is the only one. No test forces the order, since the close and the read are two steps of one thread; the node's tests pass.

--- a/crates/node/src/event_loop/client_requests.rs
+++ b/crates/node/src/event_loop/client_requests.rs
@@ -39,9 +39,9 @@
         set_up: &viewers::SetUp,
         received_at: Time,
     ) {
-        if self.is_closing(connection) {
+        if self.is_closed_here(connection) {
             // It crossed the close, so its viewer sends it once more, on another connection.
-            tracing::debug!(session_id = %set_up.tag, connection_id = connection.0, "set-up not accepted, its connection is closing");
+            tracing::debug!(session_id = %set_up.tag, connection_id = connection.0, "set-up not accepted, its connection is being closed");
             return;
         }
         let request = self.read_set_up(set_up);
@@ -59,10 +59,11 @@
         }
     }
 
-    fn is_closing(&self, connection: ConnectionId) -> bool {
+    /// Whether this node has closed its side of a connection, so that nothing can be answered on it.
+    fn is_closed_here(&self, connection: ConnectionId) -> bool {
         self.connections
             .get(&connection)
-            .is_some_and(|connection| connection.is_closing())
+            .is_some_and(|connection| !connection.is_open())
     }
 
     /// A set-up under the id of another one. An adoption may name a session that is known already, and is ignored. For any other
