Tests of the node with a fault proxy: answers and releases that are withheld and lost

A proxy of our own withholds one direction and resets connections, between viewers and the node or the node and a server.

--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -2,6 +2,7 @@
 //! They are written from the platform's protocol and block on threads of their own; nothing waits without a bound.
 #![allow(dead_code, unused_imports)] // Each test file uses its part.
 mod directory;
+mod fault_proxy;
 mod gate;
 mod harness;
 mod messages;
@@ -12,6 +13,7 @@
 pub(crate) use directory::{
     listed_servers, Directory, DirectoryFault, DirectoryState, ListedServer,
 };
+pub(crate) use fault_proxy::{FaultProxy, Withheld};
 pub(crate) use gate::Gate;
 pub(crate) use harness::{configuration, parsed, settings, Harness, FREE, PAID};
 pub(crate) use messages::{accepted, response, session_of, session_update, set_up, tag};
--- a/crates/node/tests/undelivered.rs
+++ b/crates/node/tests/undelivered.rs
@@ -81,3 +81,67 @@
     let (_, release) = server.wait_for_request("TEARDOWN");
     assert_eq!(release.session, Some(tag(3)));
 }
+
+/// Guards against a second answer, or none, to a viewer that leaves its session at the server before the answer has reached it
+/// (incident 313391).
+#[test]
+fn a_viewer_that_leaves_at_the_server_before_its_answer_arrives_is_answered_once() {
+    let _alone = alone();
+    let harness = Harness::start(1);
+    let proxy = FaultProxy::start(harness.node.address(), Withheld::Responses);
+    let mut viewer = Viewer::connect(proxy.address);
+    viewer.start(tag(1), PAID, 15_000);
+    let (server, link, _) = harness.next_set_up();
+    proxy.withhold();
+    server.send(link, &accepted(tag(1), "described"));
+    proxy.wait_for_withheld();
+    server.send(link, &rtsp::release(tag(1), 31));
+    harness.wait_until_idle();
+    proxy.pass_on();
+    let answer = viewer.next_message();
+    assert_eq!(
+        (&answer["verb"], &answer["blob"]),
+        (&"STARTED".into(), &"described".into())
+    );
+    assert_eq!(viewer.echo()["verb"], "ECHOED", "nothing else was sent");
+    assert!(!server.has_received_set_up(), "it was set up twice");
+}
+
+/// Guards against a release that is lost with a proxy that has received it and not passed it on.
+#[test]
+fn a_release_that_a_failing_proxy_holds_is_sent_on_another_connection() {
+    let _alone = alone();
+    let harness = Harness::start(1);
+    let proxy = FaultProxy::start(harness.node.address(), Withheld::Responses);
+    let (mut behind_proxy, mut direct) = (Viewer::connect(proxy.address), harness.viewer());
+    let (server, link) = harness.establish(&mut behind_proxy, tag(1), FREE);
+    harness.establish(&mut direct, tag(2), FREE);
+    proxy.withhold();
+    server.send(link, &rtsp::release(tag(1), 16));
+    proxy.wait_for_withheld();
+    proxy.reset_connections();
+    assert_released(&mut direct, 1);
+    proxy.pass_on();
+}
+
+/// Guards against a session that plays on at its server for nobody, because the connection that took its release was reset before
+/// the server had read it.
+#[test]
+fn a_release_that_its_server_did_not_read_is_sent_to_it_again() {
+    let _alone = alone();
+    let harness = Harness::start(1);
+    let proxy = FaultProxy::start(harness.servers[0].address, Withheld::Requests);
+    harness
+        .directory
+        .update(|t| (t.serial, t.servers[0].address) = (2, proxy.address));
+    harness.directory.wait_for_queries(3);
+    let mut viewer = harness.viewer();
+    let (server, _) = harness.establish(&mut viewer, tag(1), FREE);
+    proxy.withhold();
+    viewer.finish(tag(1), 16);
+    proxy.wait_for_withheld();
+    proxy.reset_connections();
+    proxy.pass_on();
+    let (_, release) = server.wait_for_request("TEARDOWN");
+    assert_eq!(release.session, Some(tag(1)));
+}
