Node: a release that is lost with its connection is sent to its server again

Callers saw: none of it; servers went on delivering to a viewer who had left, at a link that the node counts as free.

Cause: the same as for viewers, 'accepted by the kernel' taken for 'delivered'. tear_down, abandon_attempt, fail_pending and the release of a late answer wrote TEARDOWN to a link and forgot it; a reset of the link, which ends no session that stands, took it along. Cancels need nothing: the end of their connection gives the set-up up.

Change: releases go through release_at_server and are kept for 2 s. When a server ends the link, those that it did not acknowledge, or may not have read before a reset, are sent again, unless the session was set up there anew. A dead server costs one more connect where a release was sent to it in the last 2 s.

--- a/crates/node/src/event_loop/attempt_lifecycle.rs
+++ b/crates/node/src/event_loop/attempt_lifecycle.rs
@@ -1,5 +1,6 @@
 //! The end of attempts, and sessions that are adopted.
 use super::attempt::{Attempt, AttemptState};
+use super::server_releases::ServerRelease;
 use super::EventLoop;
 use crate::shared::LinkId;
 use crankpaddle_front::{
@@ -58,7 +59,12 @@
         match attempt.state {
             AttemptState::Queued | AttemptState::AwaitingLink(_) => {} // Nothing was written.
             AttemptState::Established { link, .. } => {
-                self.send_to_server(server, link, rtsp::release(session_id, cause::CANCELLED));
+                let release = ServerRelease {
+                    server,
+                    session_id,
+                    cause: cause::CANCELLED,
+                };
+                self.release_at_server(link, release);
             }
             AttemptState::Sent { link, .. } if self.holds_only_unsent(link) => {
                 self.reset_link(link);
--- a/crates/node/src/event_loop/core_driver.rs
+++ b/crates/node/src/event_loop/core_driver.rs
@@ -1,4 +1,5 @@
 //! Driving the core: inputs go in, outputs are carried out.
+use super::server_releases::ServerRelease;
 use super::EventLoop;
 use crankpaddle_front::{AttemptId, Core, Input, Output, ServerId, Time};
 use crankpaddle_net::clock;
@@ -129,8 +130,12 @@
         let Some(record) = self.remove_attempt(attempt) else {
             return;
         };
-        let message = rtsp::release(record.session_id, self.release_cause);
-        self.send_to_server(server, record.state.link(), message);
+        let release = ServerRelease {
+            server,
+            session_id: record.session_id,
+            cause: self.release_cause,
+        };
+        self.release_at_server(record.state.link(), release);
     }
 
     fn check_health(&mut self, server: ServerId) {
--- a/crates/node/src/event_loop/maintenance.rs
+++ b/crates/node/src/event_loop/maintenance.rs
@@ -90,6 +90,7 @@
         }
         self.close_unresponsive_links(now);
         self.sent_to_viewers.remove_expired(now);
+        self.sent_to_servers.remove_expired(now);
         self.retry_notifications(now);
         self.publish_entries();
     }
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -3,7 +3,7 @@
 //! - `session`, `attempt`, `link`, `server`: the records of its tables;
 //! - `client_requests`, `client_notifications`: what viewers send and are sent;
 //! - `delivery`: what becomes of messages that the kernel accepted;
-//! - `server_messages`, `set_up_responses`: what servers send;
+//! - `server_messages`, `set_up_responses`: what servers send; `server_releases`: what they are sent at a session's end;
 //! - `attempt_dispatch`, `attempt_lifecycle`: an attempt from the decision to its end;
 //! - `server_links`, `server_liveness`: connections to servers, and what their loss means for sessions;
 //! - `endpoint_list`: the directory's list;
@@ -24,6 +24,7 @@
 mod server_links;
 mod server_liveness;
 mod server_messages;
+mod server_releases;
 mod session;
 mod set_up_responses;
 mod shutdown;
@@ -49,6 +50,7 @@
 use maintenance::Schedule;
 use may::sync::mpsc::Receiver;
 use server::{Server, UnsentMessage};
+use server_releases::ServerRelease;
 use session::Session;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::ops::ControlFlow;
@@ -88,6 +90,8 @@
     unsent_notifications: VecDeque<UnsentMessage>,
     /// Answers and notifications that a connection accepted.
     sent_to_viewers: KeptMessages<ConnectionId, SentMessage>,
+    /// Releases that a link accepted.
+    sent_to_servers: KeptMessages<LinkId, ServerRelease>,
     last_player: u64,
     last_link: u64,
     /// The cause that a teardown in progress carries.
@@ -152,6 +156,7 @@
             incompatible_servers: Vec::new(),
             unsent_notifications: VecDeque::new(),
             sent_to_viewers: KeptMessages::new(),
+            sent_to_servers: KeptMessages::new(),
             last_player: 0,
             last_link: 0,
             release_cause: cause::CANCELLED,
@@ -279,7 +284,7 @@
                     self.handle_server_message(link, message);
                 }
             }
-            InboxMessage::LinkClosed(link, end) => self.link_ended(link, end),
+            InboxMessage::LinkClosed(link, end, delivery) => self.link_closed(link, end, delivery),
             InboxMessage::EndpointList(list) => {
                 self.update_endpoints(list, EndpointListKind::Delta);
             }
--- a/crates/node/src/event_loop/server_links.rs
+++ b/crates/node/src/event_loop/server_links.rs
@@ -1,12 +1,13 @@
 //! Links to servers: found, opened, written to, and what becomes of attempts on them when they end.
+use super::delivery::Delivery;
 use super::link::Link;
+use super::server_releases::ServerRelease;
 use super::{EventLoop, UnsentMessage, RELEASE_RETRY_PERIOD};
 use crate::health::ConnectFailure;
 use crate::server_connector;
 use crate::shared::{LinkEnd, LinkId};
 use crankpaddle_front::{AttemptId, AttemptOutcome, LoadReport, ServerId, Time};
 use crankpaddle_net::{clock, CloseReason, WriteBuffer};
-use crankpaddle_node_protocol::rtsp;
 use crankpaddle_node_protocol::viewers::cause;
 use std::sync::Arc;
 
@@ -25,31 +26,29 @@
             .find(|id| self.links.get(id).is_some_and(&accepts))
     }
 
-    /// Sends on this link, or on another one of the server, or on the next one that comes up.
+    /// Sends on this link, or on another one of the server, or on the next one that comes up; the link that accepted it now.
     pub(super) fn send_to_server(
         &mut self,
         server: ServerId,
         preferred: Option<LinkId>,
         bytes: Vec<u8>,
-    ) {
+    ) -> Option<LinkId> {
         let open_preferred = preferred.filter(|id| self.links.get(id).is_some_and(Link::is_open));
-        let link = open_preferred
-            .or_else(|| self.find_link(server, Link::is_open))
-            .and_then(|id| self.links.get(&id));
-        if let Some(outbox) = link.and_then(Link::outbox) {
-            if outbox.push(&bytes) {
-                return;
-            }
+        let link_id = open_preferred.or_else(|| self.find_link(server, Link::is_open));
+        let outbox = link_id
+            .and_then(|id| self.links.get(&id))
+            .and_then(Link::outbox);
+        if outbox.is_some_and(|outbox| outbox.push(&bytes)) {
+            return link_id;
         }
-        let Some(at) = self.servers.get_mut(&server) else {
-            return;
-        };
+        let at = self.servers.get_mut(&server)?;
         if at.is_listed {
             at.unsent.push_back(UnsentMessage {
                 expires_at: clock::now() + RELEASE_RETRY_PERIOD,
                 bytes,
             });
         }
+        None
     }
 
     /// Starts to connect to a server, if the list has it.
@@ -238,6 +237,15 @@
         }
     }
 
+    /// The reader of a link has ended. If this node had not closed it before, releases on it may have to be sent again.
+    pub(super) fn link_closed(&mut self, id: LinkId, end: LinkEnd, delivery: Delivery) {
+        let is_ended_by_server = self.links.contains_key(&id);
+        self.link_ended(id, end);
+        if is_ended_by_server {
+            self.resend_releases(id, delivery);
+        }
+    }
+
     pub(super) fn close_link(&mut self, id: LinkId, reason: CloseReason) {
         self.link_ended(id, LinkEnd::ByNode(reason));
     }
@@ -296,6 +304,13 @@
         let session_id = attempt.session_id;
         self.complete_set_up(id, outcome, LoadReport::new());
         // Why: the response may have been on its way, and the session would play there without a viewer.
-        self.send_to_server(server, None, rtsp::release(session_id, cause::CUT));
+        self.release_at_server(
+            None,
+            ServerRelease {
+                server,
+                session_id,
+                cause: cause::CUT,
+            },
+        );
     }
 }
--- a/crates/node/src/event_loop/set_up_responses.rs
+++ b/crates/node/src/event_loop/set_up_responses.rs
@@ -1,5 +1,6 @@
 //! Responses of servers to set-ups.
 use super::server_messages::release_outcome;
+use super::server_releases::ServerRelease;
 use super::EventLoop;
 use crate::shared::{increment, InboxMessage, LinkEnd, LinkId};
 use crankpaddle_front::{
@@ -83,8 +84,12 @@
         let session_id = message.session.filter(|_| is_accepted_unknown);
         if let Some(session_id) = session_id {
             if self.take_abandoned(server, session_id) {
-                let release = rtsp::release(session_id, cause::CANCELLED);
-                return self.send_to_server(server, Some(link), release);
+                let release = ServerRelease {
+                    server,
+                    session_id,
+                    cause: cause::CANCELLED,
+                };
+                return self.release_at_server(Some(link), release);
             }
         }
         increment(&self.shared.drop_counters.unexpected_responses);
--- a/crates/node/src/server_connector.rs
+++ b/crates/node/src/server_connector.rs
@@ -1,4 +1,5 @@
 //! Connections to servers: one coroutine connects and then reads.
+use crate::event_loop::delivery::Delivery;
 use crate::health::{connect_timeout, ConnectFailure};
 use crate::shared::{increment, InboxMessage, LinkEnd, LinkId, Shared};
 use crankpaddle_net::{spawn, CloseReason, ReadEnd, Socket, Stack, WriteBuffer};
@@ -43,13 +44,13 @@
 fn serve(socket: Socket, link: LinkId, shared: &Shared) {
     let outbox = Arc::new(WriteBuffer::new(Arc::new(socket), shared.budget.outbox));
     shared.send(InboxMessage::ConnectCompleted(link, Ok(outbox.clone())));
-    let end = read_messages(&outbox, link, shared);
+    let (end, delivery) = read_messages(&outbox, link, shared);
     outbox.socket().close(CloseReason::ReadEnded);
     shared.links.fetch_sub(1, Ordering::Relaxed);
-    shared.send(InboxMessage::LinkClosed(link, end));
+    shared.send(InboxMessage::LinkClosed(link, end, delivery));
 }
 
-fn read_messages(outbox: &WriteBuffer, link: LinkId, shared: &Shared) -> LinkEnd {
+fn read_messages(outbox: &WriteBuffer, link: LinkId, shared: &Shared) -> (LinkEnd, Delivery) {
     let mut decoder = Decoder::default();
     let mut messages = Vec::new();
     let end = outbox.read_each::<READ_SIZE>(|bytes| {
@@ -64,9 +65,10 @@
         }
         decoded.is_ok()
     });
+    let delivery = Delivery::at_end(end, outbox);
     if end == ReadEnd::Stopped || decoder.has_partial_message() {
-        LinkEnd::Malformed
+        (LinkEnd::Malformed, delivery)
     } else {
-        LinkEnd::ByServer(end)
+        (LinkEnd::ByServer(end), delivery)
     }
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -50,7 +50,7 @@
     /// A server sent these messages, which were read at once.
     FromServer(LinkId, Vec<rtsp::Message>),
     /// A connection to a server has ended.
-    LinkClosed(LinkId, LinkEnd),
+    LinkClosed(LinkId, LinkEnd, Delivery),
     /// The directory has a new list.
     EndpointList(List),
     /// Take no new set-up, and end when nothing is pending.
