Node: retained messages, undelivered messages: names of the field, no tuples

KeptMessages is RetainedMessages, its results are a struct, is_past says what it measures. Behaviour unchanged; the node's tests pass.

--- a/crates/node/src/event_loop/client_notifications.rs
+++ b/crates/node/src/event_loop/client_notifications.rs
@@ -61,7 +61,7 @@
         self.session_connections.retain(|id| *id != connection);
         self.session_connections.push(connection);
         if self.send_to_viewer(connection, &message) {
-            self.keep_answer(connection, player);
+            self.retain_answer(connection, player);
         } else {
             self.end_session(player, RemovalReason::AnswerUndelivered);
         }
@@ -97,7 +97,7 @@
         }
         let message = UnsentMessage { expires_at, bytes };
         if self.send_to_viewer(connection, &message.bytes) {
-            return self.keep_notification(connection, message);
+            return self.retain_notification(connection, message);
         }
         self.send_on_other_connection(message);
     }
@@ -109,16 +109,16 @@
     fn send_on_other_connection(&mut self, message: UnsentMessage) {
         let mut others = self.session_connections.iter().rev().copied();
         match others.find(|other| self.send_to_viewer(*other, &message.bytes)) {
-            Some(connection) => self.keep_notification(connection, message),
+            Some(connection) => self.retain_notification(connection, message),
             None => self.unsent_notifications.push_back(message),
         }
     }
 
-    /// Keeps a notification that a connection has accepted, in case that it is not delivered.
-    pub(super) fn keep_notification(&mut self, connection: ConnectionId, message: UnsentMessage) {
+    /// Retains a notification that a connection has accepted, in case that it is not delivered.
+    pub(super) fn retain_notification(&mut self, connection: ConnectionId, message: UnsentMessage) {
         if let Some(viewer) = self.connections.get(&connection) {
             let expires_at = message.expires_at;
-            self.sent_to_viewers.keep(
+            self.sent_to_viewers.retain(
                 connection,
                 &viewer.outbox,
                 SentMessage::Notification(message.bytes),
@@ -127,9 +127,9 @@
         }
     }
 
-    fn keep_answer(&mut self, connection: ConnectionId, player: PlayerId) {
+    fn retain_answer(&mut self, connection: ConnectionId, player: PlayerId) {
         if let Some(viewer) = self.connections.get(&connection) {
-            self.sent_to_viewers.keep(
+            self.sent_to_viewers.retain(
                 connection,
                 &viewer.outbox,
                 SentMessage::Established(player),
@@ -143,17 +143,19 @@
     /// The ends of sessions are sent again: twice does no harm, never is a session that its viewer takes for playing. A session
     /// whose answer did not reach its viewer's machine is released, as if the viewer had left right before the answer.
     pub(super) fn resend_undelivered(&mut self, connection: ConnectionId, delivery: Delivery) {
-        for (message, certainty, expires_at) in
-            self.sent_to_viewers.take_undelivered(connection, delivery)
-        {
-            match message {
+        for undelivered in self.sent_to_viewers.take_undelivered(connection, delivery) {
+            let certainty = undelivered.certainty;
+            match undelivered.message {
                 SentMessage::Notification(bytes) => {
                     tracing::debug!(
                         connection_id = connection.0,
                         ?certainty,
                         "notification sent again"
                     );
-                    self.send_on_other_connection(UnsentMessage { expires_at, bytes });
+                    self.send_on_other_connection(UnsentMessage {
+                        expires_at: undelivered.expires_at,
+                        bytes,
+                    });
                 }
                 SentMessage::Established(player) if certainty == Certainty::Missing => {
                     self.end_session(player, RemovalReason::AnswerUndelivered);
--- a/crates/node/src/event_loop/delivery.rs
+++ b/crates/node/src/event_loop/delivery.rs
@@ -1,4 +1,4 @@
-//! What becomes of messages that the kernel accepted: kept for a while, and handed out again if their connection ends first.
+//! What becomes of messages that the kernel accepted: retained for a while, and handed out again if their connection ends first.
 //!
 //! A message that was written is not delivered yet. Its peer may have closed the connection a moment before, or close it with the
 //! message unread. What the kernel reports at the end of the connection tells: the bytes that the peer's machine has
@@ -8,8 +8,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::hash::Hash;
 
-/// Messages kept for one connection at most; the oldest is dropped first, and counts as delivered.
-const MAX_KEPT: usize = 256;
+/// Messages retained for one connection at most; the oldest is dropped first, and counts as delivered.
+const MAX_RETAINED: usize = 256;
 
 /// What is known of the delivery on a connection that has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,38 +45,46 @@
     MaybeUnread,
 }
 
+/// A message that may not have been delivered.
+pub(crate) struct UndeliveredMessage<M> {
+    pub(crate) message: M,
+    pub(crate) certainty: Certainty,
+    /// Until when it may be sent again.
+    pub(crate) expires_at: Time,
+}
+
 /// A message that was written to a connection.
-struct KeptMessage<M> {
+struct RetainedMessage<M> {
     message: M,
     end_position: u64,
     expires_at: Time,
 }
 
 /// Messages that were written to connections and may have to be sent again.
-pub(crate) struct KeptMessages<C, M> {
-    by_connection: HashMap<C, VecDeque<KeptMessage<M>>>,
+pub(crate) struct RetainedMessages<C, M> {
+    by_connection: HashMap<C, VecDeque<RetainedMessage<M>>>,
 }
 
-impl<C: Copy + Eq + Hash, M> KeptMessages<C, M> {
-    pub(crate) fn new() -> KeptMessages<C, M> {
-        KeptMessages {
+impl<C: Copy + Eq + Hash, M> RetainedMessages<C, M> {
+    pub(crate) fn new() -> RetainedMessages<C, M> {
+        RetainedMessages {
             by_connection: HashMap::new(),
         }
     }
 
-    /// Keeps a message that was just pushed to `outbox`, until `expires_at`.
-    pub(crate) fn keep(
+    /// Retains a message that was just pushed to `outbox`, until `expires_at`.
+    pub(crate) fn retain(
         &mut self,
         connection: C,
         outbox: &WriteBuffer,
         message: M,
         expires_at: Time,
     ) {
-        let kept = self.by_connection.entry(connection).or_default();
-        if kept.len() == MAX_KEPT {
-            kept.pop_front();
+        let messages = self.by_connection.entry(connection).or_default();
+        if messages.len() == MAX_RETAINED {
+            messages.pop_front();
         }
-        kept.push_back(KeptMessage {
+        messages.push_back(RetainedMessage {
             message,
             end_position: outbox.end_position(),
             expires_at,
@@ -85,29 +93,34 @@
 
     /// Drops what has expired: whatever became of it, it is not sent again.
     pub(crate) fn remove_expired(&mut self, now: Time) {
-        self.by_connection.retain(|_, kept| {
-            kept.retain(|message| now < message.expires_at);
-            !kept.is_empty()
+        self.by_connection.retain(|_, messages| {
+            messages.retain(|message| now < message.expires_at);
+            !messages.is_empty()
         });
     }
 
-    /// The messages of a connection that has ended which may not have been delivered, in order, each until when it may be sent.
+    /// The messages of a connection that has ended which may not have been delivered, in order.
     pub(crate) fn take_undelivered(
         &mut self,
         connection: C,
         delivery: Delivery,
-    ) -> Vec<(M, Certainty, Time)> {
-        let kept = self.by_connection.remove(&connection).unwrap_or_default();
-        kept.into_iter()
-            .filter_map(|kept| {
-                let certainty = if delivery.is_missing(kept.end_position) {
+    ) -> Vec<UndeliveredMessage<M>> {
+        let messages = self.by_connection.remove(&connection).unwrap_or_default();
+        messages
+            .into_iter()
+            .filter_map(|retained| {
+                let certainty = if delivery.is_missing(retained.end_position) {
                     Certainty::Missing
                 } else if delivery.may_be_unread {
                     Certainty::MaybeUnread
                 } else {
                     return None;
                 };
-                Some((kept.message, certainty, kept.expires_at))
+                Some(UndeliveredMessage {
+                    message: retained.message,
+                    certainty,
+                    expires_at: retained.expires_at,
+                })
             })
             .collect()
     }
--- a/crates/node/src/event_loop/maintenance.rs
+++ b/crates/node/src/event_loop/maintenance.rs
@@ -146,7 +146,7 @@
             .chain(have_sent);
         let sent_on = candidates.find(|id: &ConnectionId| self.send_to_viewer(*id, &message.bytes));
         match sent_on {
-            Some(connection) => self.keep_notification(connection, message),
+            Some(connection) => self.retain_notification(connection, message),
             None => self.unsent_notifications.push_back(message),
         }
     }
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -44,7 +44,7 @@
 use crankpaddle_node_protocol::viewers::cause;
 use crankpaddle_node_protocol::Tag;
 use crankpaddle_time::nanoseconds;
-use delivery::KeptMessages;
+use delivery::RetainedMessages;
 use endpoint_list::IncompatibleServer;
 use link::Link;
 use maintenance::Schedule;
@@ -89,9 +89,9 @@
     /// Notifications to viewers that no connection accepted.
     unsent_notifications: VecDeque<UnsentMessage>,
     /// Answers and notifications that a connection accepted.
-    sent_to_viewers: KeptMessages<ConnectionId, SentMessage>,
+    sent_to_viewers: RetainedMessages<ConnectionId, SentMessage>,
     /// Releases that a link accepted.
-    sent_to_servers: KeptMessages<LinkId, ServerRelease>,
+    sent_to_servers: RetainedMessages<LinkId, ServerRelease>,
     last_player: u64,
     last_link: u64,
     /// The cause that a teardown in progress carries.
@@ -155,8 +155,8 @@
             endpoints: BTreeMap::new(),
             incompatible_servers: Vec::new(),
             unsent_notifications: VecDeque::new(),
-            sent_to_viewers: KeptMessages::new(),
-            sent_to_servers: KeptMessages::new(),
+            sent_to_viewers: RetainedMessages::new(),
+            sent_to_servers: RetainedMessages::new(),
             last_player: 0,
             last_link: 0,
             release_cause: cause::CANCELLED,
--- a/crates/node/src/event_loop/server_releases.rs
+++ b/crates/node/src/event_loop/server_releases.rs
@@ -9,7 +9,7 @@
 
 /// How long after it was sent a release is sent again if its connection is reset. Servers read within that time, so an older one
 /// has arrived, and a reset means that the server has died.
-const RELEASE_KEPT_FOR: Duration = Duration::from_secs(2);
+const RELEASE_RETENTION: Duration = Duration::from_secs(2);
 
 /// The release of a session at its server.
 #[derive(Clone, Copy, Debug)]
@@ -23,7 +23,7 @@
 impl EventLoop {
     /// Releases a session at its server, on this link or on another.
     pub(super) fn release_at_server(&mut self, preferred: Option<LinkId>, release: ServerRelease) {
-        let expires_at = clock::now() + RELEASE_KEPT_FOR;
+        let expires_at = clock::now() + RELEASE_RETENTION;
         self.send_release(preferred, release, expires_at);
     }
 
@@ -40,27 +40,26 @@
         let outbox = self.links.get(&link_id).and_then(super::Link::outbox);
         if let Some(outbox) = outbox {
             self.sent_to_servers
-                .keep(link_id, outbox, release, expires_at);
+                .retain(link_id, outbox, release, expires_at);
         }
     }
 
     /// A link has ended by its server: releases that the server may not have read are sent again.
     ///
-    /// Not if the session was set up there anew: it would be cut.
+    /// Not if there is a newer attempt of the session: it would be cut.
     pub(super) fn resend_releases(&mut self, link: LinkId, delivery: Delivery) {
         let now = clock::now();
-        for (release, certainty, expires_at) in
-            self.sent_to_servers.take_undelivered(link, delivery)
-        {
-            let is_set_up_anew = self
+        for undelivered in self.sent_to_servers.take_undelivered(link, delivery) {
+            let release = undelivered.message;
+            let has_newer_attempt = self
                 .servers
                 .get(&release.server)
                 .is_none_or(|server| server.attempts.contains_key(&release.session_id));
-            if is_set_up_anew || now >= expires_at {
+            if has_newer_attempt || now >= undelivered.expires_at {
                 continue;
             }
-            tracing::debug!(link_id = link.0, session_id = %release.session_id, ?certainty, "release sent again");
-            self.send_release(None, release, expires_at);
+            tracing::debug!(link_id = link.0, session_id = %release.session_id, certainty = ?undelivered.certainty, "release sent again");
+            self.send_release(None, release, undelivered.expires_at);
         }
     }
 }
--- a/crates/node/src/event_loop/shutdown.rs
+++ b/crates/node/src/event_loop/shutdown.rs
@@ -27,8 +27,8 @@
         self.notify_core(Input::Drain);
     }
 
-    /// Whether `period` has passed since the drain began.
-    fn is_past(&self, now: Time, period: Duration) -> bool {
+    /// Whether `now` is later than `period` after the drain began.
+    fn has_drained_for(&self, now: Time, period: Duration) -> bool {
         self.drain_started_at
             .is_some_and(|started_at| now > started_at + period)
     }
@@ -36,7 +36,7 @@
     /// Closes connections on which nothing is pending, once no new ones are opened any more.
     pub(super) fn close_resting_connections(&self) {
         let now = clock::now();
-        if !self.is_past(now, ARRIVAL_PERIOD) {
+        if !self.has_drained_for(now, ARRIVAL_PERIOD) {
             return;
         }
         let connections = self.shared.connections.all();
@@ -63,7 +63,7 @@
         if self.core.playing() == 0 && self.unsent_notifications.is_empty() {
             return true;
         }
-        open > 1 && self.is_past(connection.last_used(), ARRIVAL_PERIOD)
+        open > 1 && self.has_drained_for(connection.last_used(), ARRIVAL_PERIOD)
     }
 
     /// Whether no work is pending and no connection is left, checked twice; between the checks the connections that wait to be
@@ -74,7 +74,7 @@
         }
         self.shared.stop_accepting();
         sleep(FINAL_READ);
-        let is_overdue = self.is_past(clock::now(), ARRIVAL_PERIOD + CLOSE_PERIOD);
+        let is_overdue = self.has_drained_for(clock::now(), ARRIVAL_PERIOD + CLOSE_PERIOD);
         (is_overdue || self.shared.has_stopped_accepting()) && !self.has_pending_work()
     }
 
@@ -83,14 +83,14 @@
     /// delays the end by no more than the periods above.
     fn has_pending_work(&self) -> bool {
         let now = clock::now();
-        if !self.is_past(now, ARRIVAL_PERIOD)
+        if !self.has_drained_for(now, ARRIVAL_PERIOD)
             || self.core.waiting() > 0
             || self.core.playing() > 0
             || !self.unsent_notifications.is_empty()
         {
             return true;
         }
-        if self.is_past(now, ARRIVAL_PERIOD + CLOSE_PERIOD) {
+        if self.has_drained_for(now, ARRIVAL_PERIOD + CLOSE_PERIOD) {
             return self
                 .shared
                 .connections
