Node: a release that waited for a link is retained like any other

Change: it waits as a release, keeps the time until which it is sent, and is retained when it is written. Other messages keep their time too.

--- a/crates/node/src/event_loop/attempt_lifecycle.rs
+++ b/crates/node/src/event_loop/attempt_lifecycle.rs
@@ -59,11 +59,7 @@
         match attempt.state {
             AttemptState::Queued | AttemptState::AwaitingLink(_) => {} // Nothing was written.
             AttemptState::Established { link, .. } => {
-                let release = ServerRelease {
-                    server,
-                    session_id,
-                    cause: cause::CANCELLED,
-                };
+                let release = ServerRelease::new(server, session_id, cause::CANCELLED);
                 self.release_at_server(link, release);
             }
             AttemptState::Sent { link, .. } if self.holds_only_unsent(link) => {
--- a/crates/node/src/event_loop/core_driver.rs
+++ b/crates/node/src/event_loop/core_driver.rs
@@ -130,11 +130,7 @@
         let Some(record) = self.remove_attempt(attempt) else {
             return;
         };
-        let release = ServerRelease {
-            server,
-            session_id: record.session_id,
-            cause: self.release_cause,
-        };
+        let release = ServerRelease::new(server, record.session_id, self.release_cause);
         self.release_at_server(record.state.link(), release);
     }
 
--- a/crates/node/src/event_loop/server.rs
+++ b/crates/node/src/event_loop/server.rs
@@ -1,4 +1,5 @@
 //! A server as the event loop knows it.
+use super::server_releases::ServerRelease;
 use crate::health::Health;
 use crate::shared::LinkId;
 use crankpaddle_front::{AttemptId, Time};
@@ -21,7 +22,23 @@
     /// Set-ups that were abandoned, and until when a session is released if the server accepts one late.
     pub(super) abandoned: HashMap<Tag, Time>,
     /// Messages that no link accepted.
-    pub(super) unsent: VecDeque<UnsentMessage>,
+    pub(super) deferred: VecDeque<DeferredMessage>,
+}
+
+/// A message to a server, sent when a link comes up.
+pub(super) enum DeferredMessage {
+    Release(ServerRelease),
+    Other(UnsentMessage),
+}
+
+impl DeferredMessage {
+    /// Until when it may be sent.
+    fn expires_at(&self) -> Time {
+        match self {
+            DeferredMessage::Release(release) => release.retry_until(),
+            DeferredMessage::Other(message) => message.expires_at,
+        }
+    }
 }
 
 /// A message that no connection accepted.
@@ -41,14 +58,14 @@
             attempts: HashMap::new(),
             established: 0,
             abandoned: HashMap::new(),
-            unsent: VecDeque::new(),
+            deferred: VecDeque::new(),
         }
     }
 
     /// Removes what has expired.
     pub(super) fn remove_expired(&mut self, now: Time) {
         self.abandoned.retain(|_, expires_at| now < *expires_at);
-        self.unsent.retain(|message| now < message.expires_at);
+        self.deferred.retain(|message| now < message.expires_at());
     }
 
     /// Whether nothing needs it any more.
@@ -58,6 +75,6 @@
 
     /// Entries of its tables.
     pub(super) fn entries(&self) -> usize {
-        self.attempts.len() + self.abandoned.len() + self.unsent.len()
+        self.attempts.len() + self.abandoned.len() + self.deferred.len()
     }
 }
--- a/crates/node/src/event_loop/server_links.rs
+++ b/crates/node/src/event_loop/server_links.rs
@@ -1,6 +1,7 @@
 //! Links to servers: found, opened, written to, and what becomes of attempts on them when they end.
 use super::delivery::Delivery;
 use super::link::Link;
+use super::server::DeferredMessage;
 use super::server_releases::ServerRelease;
 use super::{EventLoop, UnsentMessage, RELEASE_RETRY_PERIOD};
 use crate::health::ConnectFailure;
@@ -26,29 +27,53 @@
             .find(|id| self.links.get(id).is_some_and(&accepts))
     }
 
-    /// Sends on this link, or on another one of the server, or on the next one that comes up; the link that accepted it now.
+    /// Sends on this link, or on another one of the server, or on the next one that comes up.
     pub(super) fn send_to_server(
         &mut self,
         server: ServerId,
         preferred: Option<LinkId>,
         bytes: Vec<u8>,
+    ) {
+        let expires_at = clock::now() + RELEASE_RETRY_PERIOD;
+        let message = UnsentMessage { expires_at, bytes };
+        self.send_or_defer(server, preferred, message);
+    }
+
+    fn send_or_defer(
+        &mut self,
+        server: ServerId,
+        preferred: Option<LinkId>,
+        message: UnsentMessage,
+    ) {
+        if self
+            .try_send_to_server(server, preferred, &message.bytes)
+            .is_none()
+        {
+            self.defer_to_server(server, DeferredMessage::Other(message));
+        }
+    }
+
+    /// Sends on this link, or on another one of the server; the link that accepted it.
+    pub(super) fn try_send_to_server(
+        &self,
+        server: ServerId,
+        preferred: Option<LinkId>,
+        bytes: &[u8],
     ) -> Option<LinkId> {
         let open_preferred = preferred.filter(|id| self.links.get(id).is_some_and(Link::is_open));
         let link_id = open_preferred.or_else(|| self.find_link(server, Link::is_open));
         let outbox = link_id
             .and_then(|id| self.links.get(&id))
-            .and_then(Link::outbox);
-        if outbox.is_some_and(|outbox| outbox.push(&bytes)) {
-            return link_id;
-        }
-        let at = self.servers.get_mut(&server)?;
-        if at.is_listed {
-            at.unsent.push_back(UnsentMessage {
-                expires_at: clock::now() + RELEASE_RETRY_PERIOD,
-                bytes,
-            });
+            .and_then(Link::outbox)?;
+        link_id.filter(|_| outbox.push(bytes))
+    }
+
+    /// Sends a message when a link to the server comes up, if the list has the server.
+    pub(super) fn defer_to_server(&mut self, server: ServerId, message: DeferredMessage) {
+        let server = self.servers.get_mut(&server);
+        if let Some(server) = server.filter(|server| server.is_listed) {
+            server.deferred.push_back(message);
         }
-        None
     }
 
     /// Starts to connect to a server, if the list has it.
@@ -145,12 +170,15 @@
             self.close_older_links(id, server);
         }
         self.requeue_pending(id);
-        let unsent = self
+        let deferred = self
             .servers
             .get_mut(&server)
-            .map(|server| std::mem::take(&mut server.unsent));
-        for message in unsent.unwrap_or_default() {
-            self.send_to_server(server, Some(id), message.bytes);
+            .map(|server| std::mem::take(&mut server.deferred));
+        for message in deferred.unwrap_or_default() {
+            match message {
+                DeferredMessage::Release(release) => self.release_at_server(Some(id), release),
+                DeferredMessage::Other(message) => self.send_or_defer(server, Some(id), message),
+            }
         }
     }
 
@@ -304,13 +332,7 @@
         let session_id = attempt.session_id;
         self.complete_set_up(id, outcome, LoadReport::new());
         // Why: the response may have been on its way, and the session would play there without a viewer.
-        self.release_at_server(
-            None,
-            ServerRelease {
-                server,
-                session_id,
-                cause: cause::CUT,
-            },
-        );
+        let release = ServerRelease::new(server, session_id, cause::CUT);
+        self.release_at_server(None, release);
     }
 }
--- a/crates/node/src/event_loop/server_liveness.rs
+++ b/crates/node/src/event_loop/server_liveness.rs
@@ -17,7 +17,7 @@
             }
             return;
         }
-        let is_needed = server.established > 0 || !server.unsent.is_empty();
+        let is_needed = server.established > 0 || !server.deferred.is_empty();
         let wants_connect =
             is_needed && !is_connecting && server.health.wants_connect(now, has_link);
         if wants_connect && (self.has_link_capacity() || self.close_idle_link()) {
@@ -40,7 +40,7 @@
         let Some(server) = self.servers.get_mut(&id) else {
             return;
         };
-        server.unsent.clear();
+        server.deferred.clear();
         let links = server.links.clone();
         let lost = self.established_attempts(id, is_previous);
         self.end_sessions(id, lost);
@@ -60,7 +60,7 @@
         let Some(server) = self.servers.get_mut(&id) else {
             return;
         };
-        server.unsent.clear();
+        server.deferred.clear();
         server.abandoned.clear();
         let lost = self.established_attempts(id, |_| true);
         self.end_sessions(id, lost);
--- a/crates/node/src/event_loop/server_releases.rs
+++ b/crates/node/src/event_loop/server_releases.rs
@@ -1,6 +1,7 @@
 //! Releases of sessions at their servers, sent again where the connection that took one ended before the server had it.
 use super::delivery::Delivery;
-use super::EventLoop;
+use super::server::DeferredMessage;
+use super::{EventLoop, RELEASE_RETRY_PERIOD};
 use crate::shared::LinkId;
 use crankpaddle_front::{ServerId, Time};
 use crankpaddle_net::clock;
@@ -14,31 +15,40 @@
 /// The release of a session at its server.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ServerRelease {
-    pub(super) server: ServerId,
-    pub(super) session_id: Tag,
+    server: ServerId,
+    session_id: Tag,
     /// The protocol's cause.
-    pub(super) cause: u16,
+    cause: u16,
+    /// Until when it is sent, or sent again.
+    retry_until: Time,
 }
 
-impl EventLoop {
-    /// Releases a session at its server, on this link or on another.
-    pub(super) fn release_at_server(&mut self, preferred: Option<LinkId>, release: ServerRelease) {
-        let expires_at = clock::now() + RELEASE_RETENTION;
-        self.send_release(preferred, release, expires_at);
+impl ServerRelease {
+    /// A release that is due now.
+    pub(super) fn new(server: ServerId, session_id: Tag, cause: u16) -> ServerRelease {
+        ServerRelease {
+            server,
+            session_id,
+            cause,
+            retry_until: clock::now() + RELEASE_RETRY_PERIOD,
+        }
+    }
+
+    pub(super) fn retry_until(&self) -> Time {
+        self.retry_until
     }
+}
 
-    fn send_release(
-        &mut self,
-        preferred: Option<LinkId>,
-        release: ServerRelease,
-        expires_at: Time,
-    ) {
+impl EventLoop {
+    /// Releases a session at its server, on this link, or on another, or on the next one that comes up.
+    pub(super) fn release_at_server(&mut self, preferred: Option<LinkId>, release: ServerRelease) {
         let message = rtsp::release(release.session_id, release.cause);
-        let Some(link_id) = self.send_to_server(release.server, preferred, message) else {
-            return;
+        let Some(link_id) = self.try_send_to_server(release.server, preferred, &message) else {
+            return self.defer_to_server(release.server, DeferredMessage::Release(release));
         };
         let outbox = self.links.get(&link_id).and_then(super::Link::outbox);
         if let Some(outbox) = outbox {
+            let expires_at = release.retry_until.min(clock::now() + RELEASE_RETENTION);
             self.sent_to_servers
                 .retain(link_id, outbox, release, expires_at);
         }
@@ -59,7 +69,7 @@
                 continue;
             }
             tracing::debug!(link_id = link.0, session_id = %release.session_id, certainty = ?undelivered.certainty, "release sent again");
-            self.send_release(None, release, undelivered.expires_at);
+            self.release_at_server(None, release);
         }
     }
 }
--- a/crates/node/src/event_loop/set_up_responses.rs
+++ b/crates/node/src/event_loop/set_up_responses.rs
@@ -84,11 +84,7 @@
         let session_id = message.session.filter(|_| is_accepted_unknown);
         if let Some(session_id) = session_id {
             if self.take_abandoned(server, session_id) {
-                let release = ServerRelease {
-                    server,
-                    session_id,
-                    cause: cause::CANCELLED,
-                };
+                let release = ServerRelease::new(server, session_id, cause::CANCELLED);
                 return self.release_at_server(Some(link), release);
             }
         }
--- a/crates/node/tests/support/fault_proxy.rs
+++ b/crates/node/tests/support/fault_proxy.rs
@@ -62,7 +62,7 @@
         self.state.is_withholding.store(true, Ordering::Release);
     }
 
-    /// Waits until something was sent that is withheld.
+    /// Waits until something was sent that is withheld, on a connection that was not reset.
     pub(crate) fn wait_for_withheld(&self) {
         wait("something is withheld", || {
             self.state.withheld_pieces.load(Ordering::Acquire) > 0
@@ -76,6 +76,7 @@
 
     /// Ends all connections by a reset, as a machine does that fails and restarts. What was withheld on them is lost.
     pub(crate) fn reset_connections(&self) {
+        self.state.withheld_pieces.store(0, Ordering::Release);
         for connection in self.state.connections.lock().expect("unpoisoned").drain(..) {
             connection.is_cut.store(true, Ordering::Release);
             for stream in [&connection.client, &connection.server] {
--- a/crates/node/tests/undelivered.rs
+++ b/crates/node/tests/undelivered.rs
@@ -124,10 +124,9 @@
     proxy.pass_on();
 }
 
-/// Guards against a session that plays on at its server for nobody, because the connection that took its release was reset before
-/// the server had read it.
-#[test]
-fn a_release_that_its_server_did_not_read_is_sent_to_it_again() {
+/// Sends a session's release through a proxy in front of its server, which loses its connections so many times with the
+/// release, and waits for the server to get it.
+fn release_through_resets(resets: usize) {
     let _alone = alone();
     let harness = Harness::start(1);
     let proxy = FaultProxy::start(harness.servers[0].address, Withheld::Requests);
@@ -139,9 +138,24 @@
     let (server, _) = harness.establish(&mut viewer, tag(1), FREE);
     proxy.withhold();
     viewer.finish(tag(1), 16);
-    proxy.wait_for_withheld();
-    proxy.reset_connections();
+    for _ in 0..resets {
+        proxy.wait_for_withheld();
+        proxy.reset_connections();
+    }
     proxy.pass_on();
     let (_, release) = server.wait_for_request("TEARDOWN");
     assert_eq!(release.session, Some(tag(1)));
 }
+
+/// Guards against a session that plays on at its server for nobody, because the connection that took its release was reset before
+/// the server had read it.
+#[test]
+fn a_release_that_its_server_did_not_read_is_sent_to_it_again() {
+    release_through_resets(1);
+}
+
+/// Guards against the same where the next connection, for which the release has waited, is lost with it too.
+#[test]
+fn a_release_is_sent_again_as_often_as_its_connection_is_lost() {
+    release_through_resets(3);
+}
