Node: at a shutdown a connection in use is closed right after an answer, not in between

Change: a connection that was used in the last 0.3 s waits for its next answer and is closed with it; quiet ones are closed at once.

--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -103,6 +103,8 @@
     outputs: Vec<Output>,
     /// When draining began.
     drain_started_at: Option<Time>,
+    /// When connections were last looked through to be closed.
+    last_close_pass: Time,
     /// Messages taken from the inbox that have not been handled.
     message_queue: VecDeque<InboxMessage>,
 }
@@ -164,6 +166,7 @@
             is_carrying_out: false,
             outputs: Vec::new(),
             drain_started_at: None,
+            last_close_pass: Time::MAX,
             message_queue: VecDeque::new(),
             shared,
         };
--- a/crates/node/src/event_loop/shutdown.rs
+++ b/crates/node/src/event_loop/shutdown.rs
@@ -13,6 +13,8 @@
 const ARRIVAL_PERIOD: Duration = Duration::from_millis(900);
 /// How much longer clients that never stop sending, or do not close, keep the node running.
 const CLOSE_PERIOD: Duration = Duration::from_secs(2);
+/// A connection that was used more recently is closed right after its next answer only.
+const QUIET_PERIOD: Duration = Duration::from_millis(300);
 /// How long all sockets are read before the node ends.
 const FINAL_READ: Duration = Duration::from_millis(20);
 
@@ -34,11 +36,12 @@
     }
 
     /// Closes connections on which nothing is pending, once no new ones are opened any more.
-    pub(super) fn close_resting_connections(&self) {
+    pub(super) fn close_resting_connections(&mut self) {
         let now = clock::now();
         if !self.has_drained_for(now, ARRIVAL_PERIOD) {
             return;
         }
+        let previous_pass = std::mem::replace(&mut self.last_close_pass, now);
         let connections = self.shared.connections.all();
         let mut open = connections
             .iter()
@@ -47,7 +50,10 @@
         for connection in connections {
             let is_resting =
                 connection.is_open() && !connection.has_pending_work(now, UnreadInput::Include);
-            if is_resting && self.may_close(&connection, open) {
+            if is_resting
+                && is_good_moment(connection.last_used(), previous_pass, now)
+                && self.may_close(&connection, open)
+            {
                 tracing::debug!(connection_id = connection.id.0, "closing for shutdown");
                 connection.begin_close();
                 open -= 1;
@@ -103,3 +109,10 @@
                 .has_pending_work(now, UnreadInput::Include)
     }
 }
+
+/// Whether a connection that was last used then may be closed now: its client was just answered, or is quiet.
+///
+/// Why: a client that sends at a steady pace is about to send at any other moment, and its set-up would cross the close.
+fn is_good_moment(last_used: Time, previous_pass: Time, now: Time) -> bool {
+    last_used >= previous_pass || now.duration_since(last_used) >= QUIET_PERIOD
+}
