Messages are decoded without recursion, and readers give back what they hold

Cause: opts and rc were decoded to a serde_json Value, which recurses once a level, on a coroutine's stack of 64 KiB. may ends an overflown coroutine without its destructors, or the process if the stack's lowest word was written; the slot and the table entry were given back by the reader itself.

Change: a decoder with the form of the protocol; spawn_with_state keeps slots, table entries, link descriptors, reports of the end outside of the stack, in the node and the front; JSON-RPC (4 levels) and load reports (2 levels) are checked for their depth. A counter and a log line for aborted readers.

Tests of the touched packages pass. Not run on x86-64.

--- a/crates/benchmark/src/relay.rs
+++ b/crates/benchmark/src/relay.rs
@@ -98,9 +98,14 @@
         idle_connections: Mutex::default(),
         sessions: Mutex::default(),
     };
-    accept_each(listener, Arc::default(), move |socket| {
-        let _ = relay.serve(Arc::new(socket)); // The error is ignored, because the client sees that its connection ends.
-    });
+    accept_each(
+        listener,
+        Arc::default(),
+        || (),
+        move |socket, ()| {
+            let _ = relay.serve(Arc::new(socket)); // The error is ignored, because the client sees that its connection ends.
+        },
+    );
     Ok(address)
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -56,6 +56,7 @@
 use may::net::TcpListener;
 use membership_runner::OpenedMembership;
 use message::EventLoopMessage;
+use player_listener::AcceptedConnection;
 use recovered_state::OpenedState;
 use shared::Shared;
 pub use shared::WorkInProgress;
@@ -129,9 +130,12 @@
         list_service_client::follow(shared.clone(), is_stopped.clone());
         player_listener::watch_idle_players(shared.clone(), is_stopped.clone());
         let listener_shared = shared.clone();
-        accept_each(listener, is_stopped.clone(), move |socket| {
-            player_listener::serve(socket, &listener_shared);
-        });
+        accept_each(
+            listener,
+            is_stopped.clone(),
+            move || AcceptedConnection::open(listener_shared.clone()),
+            player_listener::serve,
+        );
         tracing::info!(%address, "listening");
         Ok(Daemon {
             address,
--- a/crates/daemon/src/player_listener.rs
+++ b/crates/daemon/src/player_listener.rs
@@ -1,14 +1,16 @@
 //! Serves accepted connections: answers HTTP requests until one upgrades the connection to WebSocket.
 use crate::http_responses::{self, CLOSE};
-use crate::player::CLOSE_TIMEOUT;
+use crate::message::EventLoopMessage;
+use crate::player::{PlayerConnection, CLOSE_TIMEOUT};
 use crate::shared::Shared;
 use crate::{player_session, websocket_handshake};
+use crankpaddle_front::PlayerId;
 use crankpaddle_http::head::Request;
 use crankpaddle_http::problem::Problem;
 use crankpaddle_net::exchange::{ExchangeError, HttpExchange};
 use crankpaddle_net::{clock, sleep, spawn, Socket, Stack};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 /// Largest accepted body of a request.
@@ -32,9 +34,9 @@
 }
 
 /// Serves an accepted connection until it ends.
-pub(crate) fn serve(socket: Socket, shared: &Arc<Shared>) {
+pub(crate) fn serve(socket: Socket, accepted: &AcceptedConnection) {
+    let shared = &accepted.shared;
     let socket = Arc::new(socket);
-    let _open_connection = CountedConnection::open(shared.clone());
     let limits = shared.limits();
     if shared.connections() > limits.max_connections {
         return reject_connection(shared, &socket);
@@ -52,7 +54,7 @@
             Err(_) => return,
         };
         if websocket_handshake::is_upgrade(&request) {
-            return upgrade(shared, &socket, exchange, &request);
+            return upgrade(accepted, &socket, exchange, &request);
         }
         let keeps_alive = request.keeps_alive();
         let response = http_responses::respond(shared, &request);
@@ -64,11 +66,16 @@
 }
 
 /// Upgrades a connection to WebSocket and serves it until it ends, or rejects the handshake.
-fn upgrade(shared: &Arc<Shared>, socket: &Arc<Socket>, exchange: HttpExchange, request: &Request) {
+fn upgrade(
+    connection: &AcceptedConnection,
+    socket: &Arc<Socket>,
+    exchange: HttpExchange,
+    request: &Request,
+) {
     match websocket_handshake::accept(request) {
         Ok(accepted) => {
             let unread = exchange.into_unread_bytes();
-            player_session::serve(shared, socket, unread, &accepted);
+            player_session::serve(connection, socket, unread, &accepted);
         }
         Err(rejection) => send_last(socket, &rejection),
     }
@@ -89,18 +96,47 @@
     socket.finish(CLOSE_TIMEOUT / 4);
 }
 
-/// Counts a connection as open until it is dropped, also if the connection's coroutine panics.
-struct CountedConnection(Arc<Shared>);
+/// An accepted connection. Dropping it counts the connection as closed, and reports the player on it as disconnected. It is the
+/// state of the connection's coroutine, so this also happens if that panics or overflows its stack.
+pub(crate) struct AcceptedConnection {
+    pub(crate) shared: Arc<Shared>,
+    /// The player, from the end of the handshake until it is reported as disconnected.
+    player: Mutex<Option<PlayerId>>,
+}
 
-impl CountedConnection {
-    fn open(shared: Arc<Shared>) -> CountedConnection {
+impl AcceptedConnection {
+    pub(crate) fn open(shared: Arc<Shared>) -> AcceptedConnection {
         shared.connection_opened();
-        CountedConnection(shared)
+        AcceptedConnection {
+            shared,
+            player: Mutex::new(None),
+        }
+    }
+
+    fn player(&self) -> MutexGuard<'_, Option<PlayerId>> {
+        self.player.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Reports a player as connected.
+    pub(crate) fn player_connected(&self, player: &Arc<PlayerConnection>) {
+        *self.player() = Some(player.id);
+        self.shared.send(EventLoopMessage::PlayerConnected {
+            player: player.clone(),
+        });
+    }
+
+    /// Reports the player as disconnected, unless it was reported already or there is none.
+    pub(crate) fn player_disconnected(&self) {
+        if let Some(player) = self.player().take() {
+            self.shared
+                .send(EventLoopMessage::PlayerDisconnected { player });
+        }
     }
 }
 
-impl Drop for CountedConnection {
+impl Drop for AcceptedConnection {
     fn drop(&mut self) {
-        self.0.connection_closed();
+        self.player_disconnected();
+        self.shared.connection_closed();
     }
 }
--- a/crates/daemon/src/player_session.rs
+++ b/crates/daemon/src/player_session.rs
@@ -1,10 +1,9 @@
 //! A player's WebSocket connection, from the response to the handshake until it is closed.
-use crate::message::EventLoopMessage;
 use crate::player::{PlayerConnection, CLOSE_TIMEOUT};
 use crate::player_calls::CallReader;
+use crate::player_listener::AcceptedConnection;
 use crate::shared::Shared;
 use crate::websocket_handshake::AcceptedHandshake;
-use crankpaddle_front::PlayerId;
 use crankpaddle_net::{sleep, Socket};
 use crankpaddle_time::Time;
 use std::io::{self, Read, Write};
@@ -40,11 +39,12 @@
 
 /// Serves a connection after its handshake. `unread` are the bytes that were received after the handshake.
 pub(crate) fn serve(
-    shared: &Arc<Shared>,
+    connection: &AcceptedConnection,
     socket: &Arc<Socket>,
     unread: Vec<u8>,
     handshake: &AcceptedHandshake,
 ) {
+    let shared = &connection.shared;
     let limits = shared.limits();
     socket.set_expiry(Time::MAX); // From now on only the idle timeout applies.
     let player = Arc::new(PlayerConnection::new(
@@ -53,13 +53,7 @@
         limits.max_unsent_bytes,
     ));
     shared.register_player(&player);
-    shared.send(EventLoopMessage::PlayerConnected {
-        player: player.clone(),
-    });
-    let disconnect = DisconnectOnDrop {
-        shared: shared.clone(),
-        player: player.id,
-    };
+    connection.player_connected(&player);
     player.outbox.push(&handshake.response);
     let config = WebSocketConfig::default()
         .read_buffer_size(READ_BUFFER_BYTES)
@@ -68,7 +62,7 @@
         .max_frame_size(Some(limits.max_message_bytes));
     let mut context = WebSocketContext::from_partially_read(unread, Role::Server, Some(config));
     let close_status = read_messages(shared, &player, &mut context);
-    drop(disconnect);
+    connection.player_disconnected();
     if let Some(CloseStatus { code, reason }) = close_status {
         let reason = reason.into();
         player.send_frame(Frame::close(Some(CloseFrame { code, reason })));
@@ -159,17 +153,3 @@
         Ok(())
     }
 }
-
-/// Notifies the event loop that a player disconnected, also if the player's coroutine panics.
-struct DisconnectOnDrop {
-    shared: Arc<Shared>,
-    player: PlayerId,
-}
-
-impl Drop for DisconnectOnDrop {
-    fn drop(&mut self) {
-        self.shared.send(EventLoopMessage::PlayerDisconnected {
-            player: self.player,
-        });
-    }
-}
--- a/crates/http/src/orca.rs
+++ b/crates/http/src/orca.rs
@@ -1,11 +1,15 @@
 //! Load reports in responses: the `endpoint-load-metrics` header field of Open Request Cost Aggregation (ORCA), in its text
 //! and JSON formats. The names of metrics are those of the OrcaLoadReport message; application metrics are below
 //! `named_metrics`.
+use crate::json::{self, TooDeep};
 use serde_json::Value;
 
 /// The name of the header field.
 pub const FIELD: &str = "endpoint-load-metrics";
 
+/// Levels of a report in JSON: the report, and its maps of metrics such as `named_metrics`.
+const MAX_JSON_DEPTH: usize = 2;
+
 /// Why a load report could not be parsed.
 #[derive(Debug, thiserror::Error)]
 pub enum LoadReportError {
@@ -15,6 +19,9 @@
     /// The report in JSON is malformed.
     #[error("malformed load report: {0}")]
     Json(#[from] serde_json::Error),
+    /// The report in JSON is nested deeper than the format allows.
+    #[error("malformed load report: {0}")]
+    TooDeep(#[from] TooDeep),
     /// A metric in the text format has no value.
     #[error("malformed load report: metric {0:?} has no value")]
     MissingValue(String),
@@ -45,6 +52,7 @@
 }
 
 fn parse_json(report: &str) -> Result<Vec<(String, f64)>, LoadReportError> {
+    json::check_depth(report, MAX_JSON_DEPTH)?;
     let object: Value = serde_json::from_str(report)?;
     let mut metrics = Vec::new();
     flatten("", &object, &mut metrics);
--- a/crates/http/src/orca/tests.rs
+++ b/crates/http/src/orca/tests.rs
@@ -25,3 +25,23 @@
         assert!(parse(text).is_err(), "{text}");
     }
 }
+
+/// Guards against the overflow of a coroutine's stack by the load report of a faulty server.
+#[test]
+fn a_report_that_is_nested_deeper_than_its_format_is_an_error() {
+    let nested = |depth: usize| {
+        format!(
+            r#"JSON {}"x":1{}"#,
+            r#"{"a":"#.repeat(depth - 1) + "{",
+            "}".repeat(depth)
+        )
+    };
+    assert_eq!(parse(&nested(2)).unwrap(), [("a.x".to_owned(), 1.0)]);
+    for depth in [3, 110, 127, 10_000] {
+        let error = parse(&nested(depth)).unwrap_err();
+        assert!(
+            matches!(error, LoadReportError::TooDeep(_)),
+            "{depth}: {error}"
+        );
+    }
+}
--- a/crates/net/src/acceptor.rs
+++ b/crates/net/src/acceptor.rs
@@ -1,7 +1,7 @@
 //! Accepting connections only while there is capacity for them, and stopping without losing established connections.
 use crate::listener::ACCEPT_RETRY_PAUSE;
 use crate::yield_budget::YieldBudget;
-use crate::{sleep, spawn, Socket, Stack};
+use crate::{sleep, spawn, spawn_with_state, Socket, Stack};
 use may::io::{WaitIo, WaitIoWaker};
 use may::net::TcpListener;
 use std::io::{self, ErrorKind};
@@ -47,12 +47,12 @@
 /// Starts a coroutine that accepts connections and handles each with `handle_connection` in a coroutine of its own.
 ///
 /// `reserve` is called before each accept and returns a permit, or `None` while there is no capacity; connections wait in
-/// the kernel meanwhile. The permit is passed on with the accepted connection and is held until `handle_connection` drops
-/// it.
+/// the kernel meanwhile. The permit is passed on with the accepted connection and is dropped when the coroutine of
+/// `handle_connection` has ended, however it ends ([`spawn_with_state`]).
 pub fn accept_while_capacity<P: Send + 'static>(
     listener: TcpListener,
     reserve: impl Fn() -> Option<P> + Send + 'static,
-    handle_connection: impl Fn(Socket, P) + Send + Sync + 'static,
+    handle_connection: impl Fn(Socket, &P) + Send + Sync + 'static,
 ) -> AcceptHandle {
     let state = Arc::new(AcceptState::default());
     let handle = AcceptHandle {
@@ -63,7 +63,7 @@
     spawn(Stack::Default, move || {
         accept_until_stopped(&listener, &state, reserve, |stream, permit| {
             let handle_connection = handle_connection.clone();
-            spawn(Stack::Default, move || {
+            spawn_with_state(Stack::Default, permit, move |permit| {
                 handle_connection(Socket::adopt(stream), permit);
             });
         });
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -18,6 +18,8 @@
 pub use acceptor::{accept_while_capacity, AcceptHandle};
 pub use idle_sweep::IdleSweeper;
 pub use listener::{accept_each, listen};
-pub use runtime::{drain_after_stall, drain_queue, recv_until, sleep, spawn, start, Stack};
+pub use runtime::{
+    drain_after_stall, drain_queue, recv_until, sleep, spawn, spawn_with_state, start, Stack,
+};
 pub use socket::{CloseReason, PeerState, Socket, WriteError};
 pub use write_buffer::{ReadEnd, WriteBuffer};
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -1,6 +1,6 @@
 //! Listening sockets and the loop that accepts connections.
 use crate::yield_budget::YieldBudget;
-use crate::{sleep, spawn, Socket, Stack};
+use crate::{sleep, spawn, spawn_with_state, Socket, Stack};
 use may::net::TcpListener;
 use std::io;
 use std::net::SocketAddr;
@@ -36,13 +36,15 @@
     Ok(unsafe { TcpListener::from_raw_fd(socket.into_raw_fd()) })
 }
 
-/// Starts a coroutine that accepts connections and handles each with `handle_connection` in a coroutine of its own.
+/// Starts a coroutine that accepts connections and handles each with `handle_connection` in a coroutine of its own. Its state,
+/// which `open_state` returns for each connection, is dropped however that coroutine ends ([`spawn_with_state`]).
 ///
 /// To stop it, set `should_stop`, then connect once: the flag is only checked after each accept.
-pub fn accept_each(
+pub fn accept_each<S: Send + 'static>(
     listener: TcpListener,
     should_stop: Arc<AtomicBool>,
-    handle_connection: impl Fn(Socket) + Send + Sync + 'static,
+    open_state: impl Fn() -> S + Send + 'static,
+    handle_connection: impl Fn(Socket, &S) + Send + Sync + 'static,
 ) {
     let handle_connection = Arc::new(handle_connection);
     let mut budget = YieldBudget::default();
@@ -54,8 +56,8 @@
         match accepted {
             Ok((stream, _)) => {
                 let handle_connection = handle_connection.clone();
-                spawn(Stack::Default, move || {
-                    handle_connection(Socket::new(stream));
+                spawn_with_state(Stack::Default, open_state(), move |state| {
+                    handle_connection(Socket::new(stream), state);
                 });
                 budget.spend(); // Accept never waits while connections are queued in the kernel.
             }
--- a/crates/net/src/runtime.rs
+++ b/crates/net/src/runtime.rs
@@ -3,12 +3,17 @@
 use crankpaddle_time::Time;
 use may::coroutine;
 use may::sync::mpsc::Receiver;
+use std::any::Any;
+use std::cell::OnceCell;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{RecvTimeoutError, TryRecvError};
 use std::time::Duration;
 
 /// The size of a coroutine's stack. Only pages that are touched take memory. The page below the stack is a guard page, so
-/// that an overflow ends the process instead of corrupting another coroutine's data.
+/// that an overflow can't corrupt another coroutine's data.
+///
+/// An overflow ends the coroutine without running the destructors on its stack, and `may` (0.3.51) ends the whole process if
+/// the lowest word of the stack was written. So nothing that runs on a coroutine may recurse as deep as its input says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stack {
     /// For connections and attempts. `may` reuses these stacks, so starting such a coroutine is cheap.
@@ -57,6 +62,28 @@
     let _ = unsafe { builder.spawn(run) };
 }
 
+may::coroutine_local!(static COROUTINE_STATE: OnceCell<Box<dyn Any>> = OnceCell::new());
+
+/// Starts a coroutine that runs `run` on `state`, and drops `state` when the coroutine has ended, however it ends.
+///
+/// `state` is not on the coroutine's stack, so it is dropped even after a stack overflow that the process survives, where no
+/// destructor on the stack runs. What others wait for belongs into it: permits, entries of tables, and reports of the end.
+/// Its destructor runs outside of the coroutine and must not wait.
+pub fn spawn_with_state<S, F>(stack: Stack, state: S, run: F)
+where
+    S: Send + 'static,
+    F: FnOnce(&S) + Send + 'static,
+{
+    spawn(stack, move || {
+        COROUTINE_STATE.with(|cell| {
+            let state = cell.get_or_init(|| Box::new(state));
+            if let Some(state) = state.downcast_ref::<S>() {
+                run(state);
+            }
+        });
+    });
+}
+
 /// Receives the next message, waiting until `deadline`, which is measured on [`clock::now`]. A queued message is returned
 /// even if the deadline has passed.
 ///
--- a/crates/node-protocol/src/viewers/decode.rs
+++ b/crates/node-protocol/src/viewers/decode.rs
@@ -1,8 +1,8 @@
 //! Decodes the messages of viewers.
+use super::field_value::FieldValue;
 use super::{Message, Opts, ViewerSetUp};
 use crate::{ReceiveBuffer, Tag, MAX_MESSAGE_BYTES};
 use serde::Deserialize;
-use serde_json::Value;
 use std::collections::BTreeMap;
 use thiserror::Error;
 
@@ -18,13 +18,16 @@
 }
 
 /// A message as it is on the wire, with the field names of the protocol.
+///
+/// Its form has two levels, and all other nesting is skipped without recursion: a decoder that follows the nesting of its
+/// input overflows the small stack of a coroutine.
 #[derive(Deserialize)]
 struct Line {
     verb: String,
     tag: String,
     #[serde(default)]
-    opts: BTreeMap<String, Value>,
-    rc: Option<Value>,
+    opts: BTreeMap<String, FieldValue>,
+    rc: Option<FieldValue>,
     blob: Option<String>,
 }
 
@@ -83,18 +86,17 @@
     }
 }
 
-fn finish_cause(rc: Option<&Value>) -> Result<u16, DecodeError> {
-    rc.and_then(Value::as_u64)
+fn finish_cause(rc: Option<&FieldValue>) -> Result<u16, DecodeError> {
+    rc.and_then(FieldValue::as_u64)
         .and_then(|cause| u16::try_from(cause).ok())
         .ok_or_else(|| invalid_message("a FINISH has no valid cause (rc)"))
 }
 
-fn decode_opts(opts: BTreeMap<String, Value>) -> Result<Opts, DecodeError> {
+fn decode_opts(opts: BTreeMap<String, FieldValue>) -> Result<Opts, DecodeError> {
     opts.into_iter()
-        .map(|(name, value)| match value {
-            Value::String(text) => Ok((name, text)),
-            Value::Number(number) => Ok((name, number.to_string())),
-            _ => Err(invalid_message(
+        .map(|(name, value)| match value.into_text() {
+            Some(text) => Ok((name, text)),
+            None => Err(invalid_message(
                 "a field of opts is neither a text nor a number",
             )),
         })
--- /dev/null
+++ b/crates/node-protocol/src/viewers/field_value.rs
@@ -0,0 +1,81 @@
+//! The value of a field in a viewer's message, decoded without recursion.
+use serde::de::{Deserialize, Deserializer, Error, IgnoredAny, MapAccess, SeqAccess, Visitor};
+use serde_json::Number;
+use std::fmt;
+
+/// The value of a field. The protocol has texts and numbers only; anything else is skipped, however deep it is nested.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum FieldValue {
+    Text(String),
+    Number(Number),
+    /// Neither a text nor a number.
+    Other,
+}
+
+impl FieldValue {
+    pub(super) fn as_u64(&self) -> Option<u64> {
+        match self {
+            FieldValue::Number(number) => number.as_u64(),
+            FieldValue::Text(_) | FieldValue::Other => None,
+        }
+    }
+
+    /// The value as text; `None` if it is neither a text nor a number.
+    pub(super) fn into_text(self) -> Option<String> {
+        match self {
+            FieldValue::Text(text) => Some(text),
+            FieldValue::Number(number) => Some(number.to_string()),
+            FieldValue::Other => None,
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for FieldValue {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<FieldValue, D::Error> {
+        deserializer.deserialize_any(FieldValueVisitor)
+    }
+}
+
+struct FieldValueVisitor;
+
+impl<'de> Visitor<'de> for FieldValueVisitor {
+    type Value = FieldValue;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("the value of a field")
+    }
+
+    fn visit_str<E: Error>(self, text: &str) -> Result<FieldValue, E> {
+        Ok(FieldValue::Text(text.to_owned()))
+    }
+
+    fn visit_u64<E: Error>(self, number: u64) -> Result<FieldValue, E> {
+        Ok(FieldValue::Number(number.into()))
+    }
+
+    fn visit_i64<E: Error>(self, number: i64) -> Result<FieldValue, E> {
+        Ok(FieldValue::Number(number.into()))
+    }
+
+    fn visit_f64<E: Error>(self, number: f64) -> Result<FieldValue, E> {
+        Ok(Number::from_f64(number).map_or(FieldValue::Other, FieldValue::Number))
+    }
+
+    fn visit_bool<E: Error>(self, _: bool) -> Result<FieldValue, E> {
+        Ok(FieldValue::Other)
+    }
+
+    fn visit_unit<E: Error>(self) -> Result<FieldValue, E> {
+        Ok(FieldValue::Other)
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut elements: A) -> Result<FieldValue, A::Error> {
+        while elements.next_element::<IgnoredAny>()?.is_some() {}
+        Ok(FieldValue::Other)
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut entries: A) -> Result<FieldValue, A::Error> {
+        while entries.next_entry::<IgnoredAny, IgnoredAny>()?.is_some() {}
+        Ok(FieldValue::Other)
+    }
+}
--- a/crates/node-protocol/src/viewers/mod.rs
+++ b/crates/node-protocol/src/viewers/mod.rs
@@ -1,6 +1,7 @@
 //! The protocol with viewers: one JSON object per line.
 mod decode;
 mod encode;
+mod field_value;
 mod set_up_params;
 
 use crate::Tag;
--- a/crates/node-protocol/tests/codecs.rs
+++ b/crates/node-protocol/tests/codecs.rs
@@ -172,6 +172,36 @@
     }
 }
 
+/// Guards against a decoder that recurses as deep as its input is nested: it overflows the small stack of a coroutine.
+#[test]
+fn nested_fields_are_decoded_alike_at_every_depth() {
+    let line = |verb: &str, opts: &str, rc: &str| {
+        let tag = tag(7);
+        format!("{{\"verb\":\"{verb}\",\"tag\":\"{tag}\",\"opts\":{opts},\"rc\":{rc}}}\n")
+            .into_bytes()
+    };
+    for depth in [1, 2, 100, 110, 125, 127, 128, 129, 1000, 1200] {
+        for (open, close) in [("{\"a\":", "}"), ("[", "]")] {
+            let nested = open.repeat(depth) + "1" + &close.repeat(depth);
+            let in_opts = format!("{{\"class\":{nested}}}");
+            for malformed in [line("START", &in_opts, "0"), line("FINISH", "{}", &nested)] {
+                let (messages, error) = decode_viewers(&malformed, &[MAX_MESSAGE_BYTES]);
+                assert!(messages.is_empty(), "{depth} {open}");
+                assert!(
+                    matches!(error, Some(viewers::DecodeError::InvalidMessage(_))),
+                    "{depth} {open}: {error:?}"
+                );
+            }
+            let ignored = line("NOTICE", &in_opts, &nested);
+            assert_eq!(
+                decode_viewers(&ignored, &[MAX_MESSAGE_BYTES]),
+                (vec![Message::Idle], None),
+                "{depth} {open}"
+            );
+        }
+    }
+}
+
 #[test]
 fn a_line_without_end_is_an_error_at_the_longest_message() {
     let (messages, error) = decode_viewers(&vec![b'x'; 3 * MAX_MESSAGE_BYTES], &[1000]);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,7 +23,7 @@
 mod viewer_reader;
 
 use crankpaddle_front::EventObserver;
-use crankpaddle_net::{accept_while_capacity, listen, spawn, Stack};
+use crankpaddle_net::{accept_while_capacity, listen, spawn_with_state, Stack};
 use crankpaddle_node_protocol::config::{Config, ReloadError};
 use event_loop::EventLoop;
 use shared::{InboxMessage, Shared};
@@ -68,7 +68,7 @@
         let stopped = Arc::new(AtomicBool::new(false));
         let event_loop = EventLoop::new(shared.clone(), observer);
         directory_poller::start(shared.clone(), stopped.clone())?;
-        spawn(Stack::Large, move || {
+        spawn_with_state(Stack::Large, end_sender, move |end_sender| {
             event_loop.run(&inbox);
             let _ = end_sender.send(()); // The node may have been dropped.
         });
@@ -76,7 +76,7 @@
         let acceptor = accept_while_capacity(
             listener,
             move || viewer_reader::acquire_slot(&for_slots),
-            move |socket, slot| viewer_reader::serve(socket, &slot, &for_viewers),
+            move |socket, slot| viewer_reader::serve(socket, slot, &for_viewers),
         );
         shared.set_acceptor(acceptor);
         tracing::info!(%address, "listening");
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -77,6 +77,8 @@
 pub(crate) struct DropCounters {
     /// Viewers' connections that were closed because of a malformed message.
     pub(crate) malformed: AtomicU64,
+    /// Readers of connections to viewers or servers that did not return: they panicked or overflowed their stack.
+    pub(crate) aborted_readers: AtomicU64,
     /// Set-ups with a field that is missing or out of range.
     pub(crate) out_of_range: AtomicU64,
     /// Set-ups with the id of a session that exists.
@@ -179,6 +181,12 @@
     }
 }
 
+/// Counts and logs a reader that did not return, which is a fault of this program.
+pub(crate) fn report_aborted_reader(shared: &Shared, connection: &'static str, id: u64) {
+    increment(&shared.drop_counters.aborted_readers);
+    tracing::error!(connection, id, "reader aborted, its connection is closed");
+}
+
 pub(crate) fn increment(counter: &AtomicU64) {
     counter.fetch_add(1, Ordering::Relaxed);
 }
--- a/crates/node/src/viewer_reader.rs
+++ b/crates/node/src/viewer_reader.rs
@@ -1,12 +1,12 @@
 //! Reads viewers' connections, and closes those that do not complete a message in time.
 use crate::event_loop::delivery::DeliveryStatus;
-use crate::shared::{increment, InboxMessage, Shared};
+use crate::shared::{increment, report_aborted_reader, InboxMessage, Shared};
 use crate::viewer_connection::ViewerConnection;
 use crankpaddle_net::{clock, CloseReason, ReadEnd, Socket, WriteBuffer};
 use crankpaddle_node_protocol::viewers::{self, Decoder};
 use crankpaddle_time::Time;
 use std::sync::atomic::Ordering;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 /// The connection of a client that sends nothing, or begins a message and does not complete it, is closed after this time.
@@ -15,12 +15,39 @@
 /// Maximum number of bytes read at once before other coroutines get to run.
 const READ_BYTES: usize = 4096;
 
-/// The slot of one connection among those that may be open. Dropping it releases the slot.
-pub(crate) struct ConnectionSlot(Arc<Shared>);
+/// The slot of one connection among those that may be open, and the connection in it once it is accepted.
+///
+/// Dropping it removes the connection and releases the slot. It is the state of the reader's coroutine, so this also happens if
+/// the reader panics or overflows its stack. A reader that kept its slot then would be one connection less for ever: 112 such
+/// readers left a node with 256 descriptors without any.
+pub(crate) struct ConnectionSlot {
+    shared: Arc<Shared>,
+    connection: OnceLock<Arc<ViewerConnection>>,
+    /// How reading the connection ended; unset if the reader did not return.
+    read_end: OnceLock<ReadEnd>,
+}
+
+impl ConnectionSlot {
+    fn end_connection(&self, connection: &ViewerConnection) {
+        let end = self.read_end.get().copied();
+        if end.is_none() {
+            report_aborted_reader(&self.shared, "viewer", connection.id.0);
+        }
+        let delivery = DeliveryStatus::at_end(end.unwrap_or(ReadEnd::Stopped), &connection.outbox);
+        connection.outbox.socket().close(CloseReason::ReadEnded);
+        log_end(connection, end);
+        self.shared.connections.remove(connection.id);
+        self.shared
+            .send(InboxMessage::ViewerDisconnected(connection.id, delivery));
+    }
+}
 
 impl Drop for ConnectionSlot {
     fn drop(&mut self) {
-        self.0.connections.release_slot();
+        if let Some(connection) = self.connection.get() {
+            self.end_connection(connection);
+        }
+        self.shared.connections.release_slot();
     }
 }
 
@@ -28,31 +55,37 @@
 /// slot becomes free soon.
 pub(crate) fn acquire_slot(shared: &Arc<Shared>) -> Option<ConnectionSlot> {
     let is_acquired = shared.connections.acquire_slot();
-    let slot = ConnectionSlot(shared.clone());
+    let slot = ConnectionSlot {
+        shared: shared.clone(),
+        connection: OnceLock::new(),
+        read_end: OnceLock::new(),
+    };
     is_acquired.then_some(slot)
 }
 
-/// Reads a viewer's connection until it ends.
-pub(crate) fn serve(socket: Socket, _slot: &ConnectionSlot, shared: &Arc<Shared>) {
+/// Reads a viewer's connection until it ends. What follows the end is done when `slot` is dropped.
+pub(crate) fn serve(socket: Socket, slot: &ConnectionSlot, shared: &Arc<Shared>) {
+    let connection = slot
+        .connection
+        .get_or_init(|| open_connection(socket, shared));
+    shared.connections.insert(connection);
+    shared.send(InboxMessage::ViewerConnected(connection.clone()));
+    let end = ViewerReader::new(connection, shared).run();
+    let _ = slot.read_end.set(end); // It is set once.
+}
+
+fn open_connection(socket: Socket, shared: &Shared) -> Arc<ViewerConnection> {
     let now = clock::now();
     let socket = Arc::new(socket);
     socket.set_expiry(now + MESSAGE_TIMEOUT);
     shared.sweeper.watch(&socket);
-    let outbox = WriteBuffer::new(socket.clone(), shared.budget.max_outbox_bytes);
+    let outbox = WriteBuffer::new(socket, shared.budget.max_outbox_bytes);
     let id = shared.connections.next_id();
-    let connection = Arc::new(ViewerConnection::new(id, outbox, now));
-    shared.connections.insert(&connection);
-    shared.send(InboxMessage::ViewerConnected(connection.clone()));
-    let end = ViewerReader::new(&connection, shared).run();
-    let delivery = DeliveryStatus::at_end(end, &connection.outbox);
-    socket.close(CloseReason::ReadEnded);
-    log_end(&connection, end);
-    shared.connections.remove(connection.id);
-    shared.send(InboxMessage::ViewerDisconnected(connection.id, delivery));
+    Arc::new(ViewerConnection::new(id, outbox, now))
 }
 
-/// Logs which side ended a connection and why, and what was pending on it.
-fn log_end(connection: &ViewerConnection, end: ReadEnd) {
+/// Logs which side ended a connection and why, and what was pending on it. `end` is `None` if the reader did not return.
+fn log_end(connection: &ViewerConnection, end: Option<ReadEnd>) {
     tracing::debug!(
         connection_id = connection.id.0,
         ?end,
--- a/crates/node/tests/faulty_clients.rs
+++ b/crates/node/tests/faulty_clients.rs
@@ -135,3 +135,34 @@
     );
     assert_eq!(holder.echo()["verb"], "ECHOED");
 }
+
+/// Guards against readers that overflow their stack: each kept its slot, so that after 112 lines the node accepted no viewer any
+/// more, or the process ended.
+#[test]
+fn hundreds_of_lines_with_nested_json_do_not_keep_viewers_out() {
+    const DEPTH: usize = 120;
+    let harness = Harness::start(1);
+    let nested = "{\"a\":".repeat(DEPTH) + "1" + &"}".repeat(DEPTH);
+    let line = |verb: &str, opts: &str, rc: &str| {
+        let id = tag(1);
+        format!(
+            "{{\"verb\":\"{verb}\",\"tag\":\"{id}\",\"blob\":\"x\",\"opts\":{opts},\"rc\":{rc}}}\n"
+        )
+    };
+    let in_opts = format!("{{\"class\":{nested}}}");
+    let lines = [
+        line("START", &in_opts, "0"),
+        line("FINISH", "{}", &nested),
+        line("ECHO", "{}", &nested) + "noise\n",
+    ];
+    for text in lines.iter().cycle().take(300) {
+        let mut client = harness.viewer();
+        client.try_send(text.as_bytes());
+        while !client.ends_without_message() {}
+    }
+    wait("no connection of the faulty clients is left", || {
+        harness.node.counts().viewers == 0
+    });
+    let mut viewer = harness.viewer();
+    harness.establish(&mut viewer, tag(2), FREE);
+}
--- a/crates/session-api/src/client.rs
+++ b/crates/session-api/src/client.rs
@@ -1,6 +1,8 @@
 //! The player's side of the API: writing calls, and parsing answers and notifications.
 use crate::answers::{FAILED, REFUSED, SUPERSEDED, UNKNOWN_SESSION};
+use crate::jsonrpc::MAX_DEPTH;
 use crate::methods::{Close, Open, Resume};
+use crankpaddle_http::json::{self, TooDeep};
 use serde::Serialize;
 use serde_json::{json, Value};
 
@@ -10,6 +12,9 @@
     /// The text is not JSON.
     #[error("{0}")]
     Json(#[from] serde_json::Error),
+    /// The text is nested deeper than any message.
+    #[error(transparent)]
+    TooDeep(#[from] TooDeep),
     /// The text is JSON, but contains this value, which is not a message of a front.
     #[error("not a message of a front: {0}")]
     UnexpectedMessage(Value),
@@ -120,6 +125,7 @@
 /// # Errors
 /// Returns an error if the text is not JSON, or contains a value that is not a message of a front.
 pub fn read(text: &str) -> Result<Vec<ClientEvent>, ClientError> {
+    json::check_depth(text, MAX_DEPTH)?;
     match serde_json::from_str(text)? {
         Value::Array(members) => members.iter().map(read_message).collect(),
         message => Ok(vec![read_message(&message)?]),
--- a/crates/session-api/src/jsonrpc.rs
+++ b/crates/session-api/src/jsonrpc.rs
@@ -1,4 +1,5 @@
 //! Parsing and writing of JSON-RPC 2.0 messages, as specified in <https://www.jsonrpc.org/specification>.
+use crankpaddle_http::json;
 use serde::Serialize;
 use serde_json::{json, Map, Value};
 
@@ -13,6 +14,10 @@
 /// Error code: an internal error of the front.
 pub const INTERNAL_ERROR: i64 = -32603;
 
+/// Levels of the deepest message: a batch, its messages, their parameters, and a value in these. The last level lets a value of
+/// the wrong type get an error of its own.
+pub const MAX_DEPTH: usize = 4;
+
 /// The id of a call, which is a string, a number or null. The answer repeats it as it was received.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(transparent)]
@@ -78,6 +83,9 @@
 /// Parses a text. An invalid one yields members with errors, which the caller sends as answers.
 #[must_use]
 pub fn read(text: &str) -> Message {
+    if let Err(error) = json::check_depth(text, MAX_DEPTH) {
+        return Message::Single(Err(invalid_request(Id::null(), &error.to_string())));
+    }
     match serde_json::from_str(text) {
         Err(error) => {
             let error = Error::new(PARSE_ERROR, format!("not JSON: {error}"));
--- a/crates/session-api/src/jsonrpc/tests.rs
+++ b/crates/session-api/src/jsonrpc/tests.rs
@@ -53,3 +53,22 @@
         "a null id is an id, so the call is not a notification"
     );
 }
+
+/// Guards against the overflow of a coroutine's stack by the message of a faulty player.
+#[test]
+fn a_text_that_is_nested_deeper_than_any_message_is_an_invalid_request() {
+    let call =
+        |params: &str| format!(r#"[{{"jsonrpc":"2.0","id":1,"method":"x","params":{params}}}]"#);
+    let is_batch = |text: &str| matches!(read(text), Message::Batch(_));
+    assert!(
+        is_batch(&call(r#"{"a":[]}"#)),
+        "the deepest that is allowed"
+    );
+    for depth in [3, 110, 127, 10_000] {
+        let nested = r#"{"a":"#.repeat(depth) + "1" + &"}".repeat(depth);
+        let Message::Single(member) = read(&call(&nested)) else {
+            panic!("{depth} levels were parsed");
+        };
+        assert_eq!(code(&member), INVALID_REQUEST, "{depth}");
+    }
+}
--- a/crates/testbed/src/list_service.rs
+++ b/crates/testbed/src/list_service.rs
@@ -131,9 +131,14 @@
             gone: AtomicBool::new(false),
         });
         let acceptor = service.clone();
-        accept_each(listener, Arc::default(), move |socket| {
-            acceptor.serve(&Arc::new(socket));
-        });
+        accept_each(
+            listener,
+            Arc::default(),
+            || (),
+            move |socket, ()| {
+                acceptor.serve(&Arc::new(socket));
+            },
+        );
         let notifier = service.clone();
         spawn(Stack::Default, move || notifier.run());
         Ok(service)
--- a/crates/testbed/src/server/mod.rs
+++ b/crates/testbed/src/server/mod.rs
@@ -121,12 +121,17 @@
         *lock(&self.stop_listening) = stop.clone();
         self.up.store(true, Ordering::Release);
         let (server, fleet) = (self.clone(), fleet.clone());
-        accept_each(listener, stop, move |socket| {
-            let socket = Arc::new(socket);
-            fleet.sweeper.watch(&socket);
-            lock(&server.sockets).push(Arc::downgrade(&socket));
-            server.serve(&fleet, &socket);
-        });
+        accept_each(
+            listener,
+            stop,
+            || (),
+            move |socket, ()| {
+                let socket = Arc::new(socket);
+                fleet.sweeper.watch(&socket);
+                lock(&server.sockets).push(Arc::downgrade(&socket));
+                server.serve(&fleet, &socket);
+            },
+        );
     }
 
     /// Simulates the end of the process: closes its connections and port, and ends its sessions.
