Input that is read ahead of the event loop is bounded for each connection

Callers saw: 24 clients that send unusable requests at full speed take the node over 192 MB within 2 s; it is killed, with the requests that it had taken.

Cause: the event loop's inbox had no bound and readers passed on whatever arrived. Besides, may polls sockets only when no coroutine is runnable, so under a flood a usual viewer's request could stay unread.

Change: a gate for each connection to viewers and servers, by the configured memory; messages are decoded one at a time and unknown fields dropped; the event loop pauses every 5 ms for the sockets when it has woken readers; outgoing bytes by the memory; 128 stacks are kept instead of 1,000. In the front: server messages, datagrams of peers, texts for files.

--- a/crates/daemon/src/event_loop/messages.rs
+++ b/crates/daemon/src/event_loop/messages.rs
@@ -17,6 +17,7 @@
                 self.set_up_completed(attempt, result);
             }
             EventLoopMessage::Server { server, message } => {
+                self.shared.server_message_dequeued();
                 self.handle_server_message(server, message);
             }
             EventLoopMessage::BudgetsChanged { config } => self.budgets_changed(&config),
--- a/crates/daemon/src/membership_runner.rs
+++ b/crates/daemon/src/membership_runner.rs
@@ -28,14 +28,25 @@
 const READ_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// Size of the receive buffer; a peer's datagram is never longer.
 const MAX_DATAGRAM_BYTES: usize = 2048;
+/// Most datagrams that were read and not handled. Further ones are dropped, as the kernel drops them when its buffer is full.
+const MAX_QUEUED_DATAGRAMS: usize = 1024;
 /// Longest wait until the announcement that this front leaves is sent.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A command to the coroutine that owns the membership.
 enum Command {
-    Receive { from: SocketAddr, bytes: Vec<u8> },
-    Leave { done: std::sync::mpsc::Sender<()> },
-    DescribeMembers { reply: Sender<Members> },
+    Receive {
+        from: SocketAddr,
+        bytes: Vec<u8>,
+        /// Dropped when the datagram is handled, which makes room for another.
+        queued: Arc<()>,
+    },
+    Leave {
+        done: std::sync::mpsc::Sender<()>,
+    },
+    DescribeMembers {
+        reply: Sender<Members>,
+    },
 }
 
 /// A handle to the coroutine that owns the membership.
@@ -152,11 +163,17 @@
 
 fn read_datagrams(socket: &UdpSocket, commands: &Sender<Command>) {
     let mut buffer = [0u8; MAX_DATAGRAM_BYTES];
+    let queued_datagrams = Arc::new(()); // Each queued datagram holds a reference.
     loop {
         match socket.recv_from(&mut buffer) {
+            Ok(_) if Arc::strong_count(&queued_datagrams) > MAX_QUEUED_DATAGRAMS => {}
             Ok((length, from)) => {
-                let bytes = buffer[..length].to_vec();
-                if commands.send(Command::Receive { from, bytes }).is_err() {
+                let command = Command::Receive {
+                    from,
+                    bytes: buffer[..length].to_vec(),
+                    queued: queued_datagrams.clone(),
+                };
+                if commands.send(command).is_err() {
                     return;
                 }
             }
@@ -207,7 +224,11 @@
     /// Handles a command. Returns [`ControlFlow::Break`] after [`Command::Leave`].
     fn handle_command(&mut self, command: Command) -> ControlFlow<()> {
         match command {
-            Command::Receive { from, bytes } => {
+            Command::Receive {
+                from,
+                bytes,
+                queued: _queued,
+            } => {
                 let from = from.to_string();
                 self.membership
                     .receive(clock::now(), &from, &bytes, &mut self.outputs);
--- a/crates/daemon/src/persistence_thread.rs
+++ b/crates/daemon/src/persistence_thread.rs
@@ -2,12 +2,60 @@
 use std::fs::{self, File};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
-use std::sync::mpsc;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
 
+/// The text to write next. There is at most one, however slow the disk is: a newer text replaces it.
+#[derive(Default)]
+struct LatestText {
+    state: Mutex<LatestTextState>,
+    changed: Condvar,
+}
+
+#[derive(Default)]
+struct LatestTextState {
+    text: Option<String>,
+    is_closed: bool,
+}
+
+impl LatestText {
+    fn state(&self) -> MutexGuard<'_, LatestTextState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn replace(&self, text: String) {
+        self.state().text = Some(text);
+        self.changed.notify_one();
+    }
+
+    /// Makes [`LatestText::take`] return `None` once the last text was taken.
+    fn close(&self) {
+        self.state().is_closed = true;
+        self.changed.notify_one();
+    }
+
+    /// Waits for a text and takes it; `None` after the close.
+    fn take(&self) -> Option<String> {
+        let mut state = self
+            .changed
+            .wait_while(self.state(), |state| {
+                state.text.is_none() && !state.is_closed
+            })
+            .unwrap_or_else(PoisonError::into_inner);
+        state.text.take()
+    }
+}
+
+/// A writer's thread. Dropping this lets the thread end after the last text.
 struct WriterThread {
-    texts: mpsc::Sender<String>,
-    thread: JoinHandle<()>,
+    latest: Arc<LatestText>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Drop for WriterThread {
+    fn drop(&mut self) {
+        self.latest.close();
+    }
 }
 
 /// Writes the latest queued text to a file. A text may be skipped if a newer one is queued before it is written.
@@ -17,9 +65,13 @@
     /// Starts a writer to a file; if `path` is `None`, it writes nothing. `content` names the file's content in log lines.
     pub(crate) fn start(path: Option<PathBuf>, content: &'static str) -> FileWriter {
         let writer = path.map(|path| {
-            let (texts, queue) = mpsc::channel::<String>();
+            let latest = Arc::new(LatestText::default());
+            let queue = latest.clone();
             let thread = std::thread::spawn(move || write_all(&path, content, &queue));
-            WriterThread { texts, thread }
+            WriterThread {
+                latest,
+                thread: Some(thread),
+            }
         });
         FileWriter(writer)
     }
@@ -32,21 +84,18 @@
     /// Queues a text to replace the file's content.
     pub(crate) fn write(&self, text: String) {
         if let Some(writer) = &self.0 {
-            let _ = writer.texts.send(text); // Never fails: the thread lives as long as this sender.
+            writer.latest.replace(text);
         }
     }
 
     /// Closes the queue and returns the thread, which may still be writing. It must be joined where blocking is allowed.
     pub(crate) fn finish(self) -> Option<JoinHandle<()>> {
-        self.0.map(|writer| writer.thread)
+        self.0.and_then(|mut writer| writer.thread.take())
     }
 }
 
-fn write_all(path: &Path, content: &'static str, queue: &mpsc::Receiver<String>) {
-    while let Ok(mut text) = queue.recv() {
-        while let Ok(newer) = queue.try_recv() {
-            text = newer;
-        }
+fn write_all(path: &Path, content: &'static str, queue: &LatestText) {
+    while let Some(text) = queue.take() {
         if let Err(error) = replace_file(path, text.as_bytes()) {
             tracing::warn!(path = %path.display(), reason = %error, content, "file write failed");
         }
@@ -61,3 +110,6 @@
     file.sync_all()?;
     fs::rename(&next, path)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/daemon/src/server_link/stream.rs
+++ b/crates/daemon/src/server_link/stream.rs
@@ -10,6 +10,10 @@
 use crankpaddle_time::Time;
 use std::io::{self, ErrorKind};
 use std::sync::Arc;
+use std::time::Duration;
+
+/// Pause between two checks whether the event loop still has a backlog.
+const BACKLOG_PAUSE: Duration = Duration::from_millis(1);
 
 impl ServerLink {
     /// Passes the events of the server's event stream to the event loop, and reopens the stream when it ends, until
@@ -66,6 +70,9 @@
     ) -> StreamFailure {
         let mut has_started = false;
         loop {
+            while shared.has_server_backlog() {
+                sleep(BACKLOG_PAUSE); // Back-pressure: nothing is read from this server meanwhile.
+            }
             let event = match events.next() {
                 Ok(event) => event,
                 Err(error) => return self.stream_ended(shared, &error, has_started),
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -49,6 +49,8 @@
     connections: AtomicUsize,
     /// Requests of players in the event loop's queue.
     queued_requests: AtomicUsize,
+    /// Messages about servers in the event loop's queue.
+    queued_server_messages: AtomicUsize,
     waiting: AtomicUsize,
     playing: AtomicUsize,
     is_draining: AtomicBool,
@@ -75,6 +77,7 @@
             players: Mutex::default(),
             connections: AtomicUsize::new(0),
             queued_requests: AtomicUsize::new(0),
+            queued_server_messages: AtomicUsize::new(0),
             waiting: AtomicUsize::new(0),
             playing: AtomicUsize::new(0),
             is_draining: AtomicBool::new(false),
@@ -90,6 +93,9 @@
         if matches!(message, EventLoopMessage::PlayerRequest { .. }) {
             self.queued_requests.fetch_add(1, Ordering::Relaxed);
         }
+        if matches!(message, EventLoopMessage::Server { .. }) {
+            self.queued_server_messages.fetch_add(1, Ordering::Relaxed);
+        }
         let _ = self.inbox.send(message);
     }
 
@@ -103,10 +109,23 @@
         self.queued_requests.fetch_sub(1, Ordering::Relaxed);
     }
 
+    /// Counts that the event loop took a [`EventLoopMessage::Server`] from the queue.
+    pub(crate) fn server_message_dequeued(&self) {
+        self.queued_server_messages.fetch_sub(1, Ordering::Relaxed);
+    }
+
     /// Whether the event loop's queue holds more than twice as many requests of players as the front may have pending.
     pub(crate) fn has_request_backlog(&self) -> bool {
-        let max_queued = self.config.terms.max_pending.saturating_mul(2);
-        self.queued_requests.load(Ordering::Relaxed) > max_queued
+        self.queued_requests.load(Ordering::Relaxed) > self.max_queued()
+    }
+
+    /// Whether the event loop's queue holds more messages about servers than it may hold requests of players.
+    pub(crate) fn has_server_backlog(&self) -> bool {
+        self.queued_server_messages.load(Ordering::Relaxed) > self.max_queued()
+    }
+
+    fn max_queued(&self) -> usize {
+        self.config.terms.max_pending.saturating_mul(2)
     }
 
     /// The configured limits and timeouts.
--- a/crates/net/src/runtime.rs
+++ b/crates/net/src/runtime.rs
@@ -27,6 +27,9 @@
 const DEFAULT_STACK_WORDS: usize = 0x2000;
 /// Size of a large stack in words of 8 bytes. The highest use in the same tests was 4,843 words (38 KiB).
 const LARGE_STACK_WORDS: usize = 0x4_0000;
+/// Number of stacks that are kept for reuse. `may` reuses the one that has been free for the longest time, so each of them has
+/// its touched pages in memory; by default they are 1,000.
+const POOLED_STACKS: usize = 128;
 /// The shortest wait. `may` (0.3.51) truncates timeouts to whole milliseconds and takes zero for no timeout.
 pub(crate) const MIN_WAIT: Duration = Duration::from_millis(1);
 
@@ -42,6 +45,7 @@
 pub fn start(workers: Option<usize>) {
     let config = may::config();
     config.set_stack_size(DEFAULT_STACK_WORDS);
+    config.set_pool_capacity(POOLED_STACKS);
     config.set_worker_pin(false);
     if let Some(workers) = workers {
         ONE_WORKER.store(workers == 1, Ordering::Relaxed);
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -138,8 +138,8 @@
         self.stream.wait_io();
     }
 
-    /// Wakes the coroutine that waits on this socket.
-    fn wake(&self) {
+    /// Wakes the coroutine that waits on this socket. A wake before [`Socket::wait`] makes that return at once.
+    pub fn wake(&self) {
         self.stream.waker().wakeup();
     }
 
--- a/crates/net/src/yield_budget.rs
+++ b/crates/net/src/yield_budget.rs
@@ -1,5 +1,9 @@
 //! Fairness between coroutines whose operations never have to wait.
+use crate::clock;
 use crate::runtime::{sleep, MIN_WAIT};
+use crankpaddle_time::Time;
+use may::coroutine;
+use std::time::Duration;
 
 /// Operations in a row that a coroutine may complete without waiting.
 const MAX_CONSECUTIVE_OPERATIONS: u32 = 8;
@@ -30,3 +34,36 @@
         self.operations = 0;
     }
 }
+
+/// How often a worker thread that is kept busy polls its sockets.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Lets the worker thread poll sockets while coroutines wake each other all the time.
+///
+/// A coroutine that wakes readers, for instance because it has made room for their input, and is woken by them, keeps the
+/// thread from polling (see [`YieldBudget`]) although each of them waits often. While clients flooded a node that stopped reading
+/// each of them at a bound, it accepted no connection for 30 s.
+#[derive(Debug)]
+pub struct PollingBreak {
+    last_break: Time,
+}
+
+impl PollingBreak {
+    /// The next break is due one interval after `now`.
+    #[must_use]
+    pub fn starting_at(now: Time) -> PollingBreak {
+        PollingBreak { last_break: now }
+    }
+
+    /// Suspends the coroutine until sockets were polled, if that is due. To be called by a coroutine that has woken others.
+    ///
+    /// It yields first, so that every coroutine that is runnable has run and waits for this one before the sleep begins. With a
+    /// sleep alone, readers with much to decode kept the thread busy until it was over.
+    pub fn take_if_due(&mut self) {
+        if clock::now() >= self.last_break + POLL_INTERVAL {
+            coroutine::yield_now();
+            sleep(MIN_WAIT);
+            self.last_break = clock::now();
+        }
+    }
+}
--- a/crates/node-protocol/src/viewers/decode.rs
+++ b/crates/node-protocol/src/viewers/decode.rs
@@ -1,9 +1,8 @@
 //! Decodes the messages of viewers.
-use super::field_value::FieldValue;
+use super::field_value::{FieldMap, FieldValue};
 use super::{Message, Opts, ViewerSetUp};
 use crate::{ReceiveBuffer, Tag, MAX_MESSAGE_BYTES};
 use serde::Deserialize;
-use std::collections::BTreeMap;
 use thiserror::Error;
 
 /// Why no more messages can be decoded from a stream.
@@ -26,7 +25,7 @@
     verb: String,
     tag: String,
     #[serde(default)]
-    opts: BTreeMap<String, FieldValue>,
+    opts: FieldMap,
     rc: Option<FieldValue>,
     blob: Option<String>,
 }
@@ -41,6 +40,19 @@
     /// # Errors
     /// The stream is malformed, and no more messages can be decoded from it. The messages before the error are in `messages`.
     pub fn feed(&mut self, bytes: &[u8], messages: &mut Vec<Message>) -> Result<(), DecodeError> {
+        self.feed_each(bytes, |message, _| messages.push(message))
+    }
+
+    /// Takes the next bytes of the stream and passes each message that they complete to `handle`, with its length in bytes on
+    /// the wire. A message is decoded only after the one before it was handled.
+    ///
+    /// # Errors
+    /// The stream is malformed, and no more messages can be decoded from it. The messages before the error were passed on.
+    pub fn feed_each(
+        &mut self,
+        bytes: &[u8],
+        mut handle: impl FnMut(Message, usize),
+    ) -> Result<(), DecodeError> {
         self.0.feed(bytes, |rest| {
             let head = &rest[..rest.len().min(MAX_MESSAGE_BYTES)];
             let Some(end) = head.iter().position(|byte| *byte == b'\n') else {
@@ -49,8 +61,9 @@
                 }
                 return Ok(0);
             };
-            messages.push(decode_line(&rest[..end])?);
-            Ok(end + 1)
+            let length = end + 1;
+            handle(decode_line(&rest[..end])?, length);
+            Ok(length)
         })
     }
 
@@ -92,13 +105,13 @@
         .ok_or_else(|| invalid_message("a FINISH has no valid cause (rc)"))
 }
 
-fn decode_opts(opts: BTreeMap<String, FieldValue>) -> Result<Opts, DecodeError> {
-    opts.into_iter()
-        .map(|(name, value)| match value.into_text() {
-            Some(text) => Ok((name, text)),
-            None => Err(invalid_message(
-                "a field of opts is neither a text nor a number",
-            )),
-        })
-        .collect()
+/// The fields that the protocol has a use for. Others are allowed, and dropped here, so that a message takes little more memory
+/// than its text.
+fn decode_opts(opts: FieldMap) -> Result<Opts, DecodeError> {
+    if opts.has_other {
+        return Err(invalid_message(
+            "a field of opts is neither a text nor a number",
+        ));
+    }
+    Ok(opts.texts)
 }
--- a/crates/node-protocol/src/viewers/field_value.rs
+++ b/crates/node-protocol/src/viewers/field_value.rs
@@ -1,4 +1,5 @@
-//! The value of a field in a viewer's message, decoded without recursion.
+//! The fields of a viewer's message, decoded without recursion.
+use super::Opts;
 use serde::de::{Deserialize, Deserializer, Error, IgnoredAny, MapAccess, SeqAccess, Visitor};
 use serde_json::Number;
 use std::fmt;
@@ -79,3 +80,50 @@
         Ok(FieldValue::Other)
     }
 }
+
+/// The names of the fields that are kept ([`super::SetUpParams`]).
+const KNOWN_FIELDS: [&str; 7] = ["class", "tenant", "left", "retry", "key", "hint", "extras"];
+
+/// The fields of a message with the names in [`KNOWN_FIELDS`], as text.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(super) struct FieldMap {
+    pub(super) texts: Opts,
+    /// Whether the value of any field, known or not, is neither a text nor a number.
+    pub(super) has_other: bool,
+}
+
+impl FieldMap {
+    fn insert(&mut self, name: String, value: FieldValue) {
+        let Some(text) = value.into_text() else {
+            self.has_other = true;
+            return;
+        };
+        if KNOWN_FIELDS.contains(&name.as_str()) {
+            self.texts.insert(name, text);
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for FieldMap {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<FieldMap, D::Error> {
+        deserializer.deserialize_map(FieldMapVisitor)
+    }
+}
+
+struct FieldMapVisitor;
+
+impl<'de> Visitor<'de> for FieldMapVisitor {
+    type Value = FieldMap;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("an object of fields")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut entries: A) -> Result<FieldMap, A::Error> {
+        let mut fields = FieldMap::default();
+        while let Some((name, value)) = entries.next_entry::<String, FieldValue>()? {
+            fields.insert(name, value);
+        }
+        Ok(fields)
+    }
+}
--- a/crates/node/src/budget.rs
+++ b/crates/node/src/budget.rs
@@ -1,6 +1,9 @@
 //! Divides the machine's limits into bounds for viewers' connections, links to servers, set-ups and buffers.
 use crankpaddle_node_protocol::config::Limits;
+use crankpaddle_node_protocol::MAX_MESSAGE_BYTES;
 
+/// Bytes in a MB of the configured memory.
+const BYTES_PER_MB: usize = 1024 * 1024;
 /// Descriptors reserved for everything but connections to viewers and servers: the listener, the directory, signals, logs, the
 /// runtime, and connections that are being closed.
 const RESERVED_DESCRIPTORS: usize = 32;
@@ -14,7 +17,13 @@
 const PENDING_SET_UPS_PER_CONNECTION_PER_MB: usize = 4;
 /// Maximum number of unanswered set-ups of one connection, however much memory there is.
 const MAX_PENDING_SET_UPS_PER_CONNECTION: usize = 512;
-/// Maximum number of bytes that are buffered for one slow reader.
+/// The share of the memory for messages that were read and are not handled: one part in this many.
+const QUEUED_INPUT_SHARE: usize = 16;
+/// Maximum number of bytes of one connection that were read and are not handled, however much memory there is.
+const MAX_QUEUED_INPUT_BYTES: usize = 128 * 1024;
+/// The share of the memory for what slow readers have not taken: one part in this many.
+const OUTBOX_SHARE: usize = 4;
+/// Maximum number of bytes that are buffered for one slow reader, however much memory there is.
 const MAX_OUTBOX_BYTES: usize = 64 * 1024;
 
 /// Bounds on resources, derived from the machine's limits.
@@ -29,7 +38,10 @@
     pub(crate) max_pending_set_ups: usize,
     /// Unanswered set-ups of one connection.
     pub(crate) max_pending_set_ups_per_connection: usize,
-    /// Bytes that are buffered for one slow reader, viewer or server.
+    /// Memory for the messages of one connection that were read and are not handled ([`crate::input_gate`]). One message may
+    /// always be queued, also if it is longer.
+    pub(crate) max_queued_input_bytes: usize,
+    /// Bytes that are buffered for one slow reader, viewer or server; at least one message of the greatest length.
     pub(crate) max_outbox_bytes: usize,
 }
 
@@ -43,6 +55,7 @@
         let memory_mb = usize::try_from(limits.memory_mb)
             .unwrap_or(usize::MAX)
             .max(1);
+        let memory_bytes = memory_mb.saturating_mul(BYTES_PER_MB);
         ResourceBudget {
             max_viewers,
             max_links: descriptors - max_viewers,
@@ -52,7 +65,10 @@
             max_pending_set_ups_per_connection: memory_mb
                 .saturating_mul(PENDING_SET_UPS_PER_CONNECTION_PER_MB)
                 .min(MAX_PENDING_SET_UPS_PER_CONNECTION),
-            max_outbox_bytes: MAX_OUTBOX_BYTES,
+            max_queued_input_bytes: (memory_bytes / QUEUED_INPUT_SHARE / descriptors)
+                .min(MAX_QUEUED_INPUT_BYTES),
+            max_outbox_bytes: (memory_bytes / OUTBOX_SHARE / descriptors)
+                .clamp(MAX_MESSAGE_BYTES, MAX_OUTBOX_BYTES),
         }
     }
 }
--- a/crates/node/src/connection_table.rs
+++ b/crates/node/src/connection_table.rs
@@ -40,6 +40,14 @@
         self.connections().len()
     }
 
+    /// The memory that the queued input of all connections takes.
+    pub(crate) fn queued_input_bytes(&self) -> usize {
+        self.connections()
+            .values()
+            .map(|connection| connection.input_gate.queued_bytes())
+            .sum()
+    }
+
     /// A new connection id, which no other connection has had.
     pub(crate) fn next_id(&self) -> ConnectionId {
         ConnectionId(self.last_id.fetch_add(1, Ordering::Relaxed) + 1)
--- a/crates/node/src/connection_table/tests.rs
+++ b/crates/node/src/connection_table/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::input_gate::InputGate;
 use crankpaddle_net::WriteBuffer;
 use crankpaddle_net::{spawn, Socket, Stack};
 use crankpaddle_time::Time;
@@ -6,6 +7,21 @@
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 
+fn viewer_connection(
+    id: ConnectionId,
+    socket: Arc<Socket>,
+    max_outbox_bytes: usize,
+    now: Time,
+) -> ViewerConnection {
+    let gate = InputGate::new(socket.clone(), 1024, Arc::default());
+    ViewerConnection::new(
+        id,
+        WriteBuffer::new(socket, max_outbox_bytes),
+        Arc::new(gate),
+        now,
+    )
+}
+
 fn connect(
     table: &ConnectionTable,
     listener: &TcpListener,
@@ -22,9 +38,10 @@
         .recv_timeout(Duration::from_secs(30))
         .expect("the connect completes")
         .expect("the listener accepts");
-    let connection = Arc::new(ViewerConnection::new(
+    let connection = Arc::new(viewer_connection(
         ConnectionId(id),
-        WriteBuffer::new(Arc::new(socket), 1024),
+        Arc::new(socket),
+        1024,
         Time(id),
     ));
     connection
@@ -108,11 +125,7 @@
 fn what_is_unread_partial_queued_or_unanswered_is_pending_work() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let (socket, mut peer) = small_buffer_pair(&listener);
-    let connection = ViewerConnection::new(
-        ConnectionId(1),
-        WriteBuffer::new(socket.clone(), 64 << 20),
-        Time(0),
-    );
+    let connection = viewer_connection(ConnectionId(1), socket.clone(), 64 << 20, Time(0));
     let pending = |unread| connection.has_pending_work(Time(5), unread);
     assert!(!pending(UnreadInput::Include));
     connection.queued_messages.store(1, Ordering::Relaxed);
@@ -150,8 +163,7 @@
 fn what_is_unsent_is_pending_work_until_its_viewer_has_timed_out() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let (socket, mut peer) = small_buffer_pair(&listener);
-    let connection =
-        ViewerConnection::new(ConnectionId(1), WriteBuffer::new(socket, 64 << 20), Time(0));
+    let connection = viewer_connection(ConnectionId(1), socket, 64 << 20, Time(0));
     connection.extend_output_deadline(Time(10));
     while connection.outbox.is_empty() {
         assert!(
@@ -185,9 +197,10 @@
         TcpListener::bind("127.0.0.1:0").unwrap(),
     );
     let (socket, mut peer) = small_buffer_pair(&listener);
-    let connection = Arc::new(ViewerConnection::new(
+    let connection = Arc::new(viewer_connection(
         ConnectionId(1),
-        WriteBuffer::new(socket.clone(), 1024),
+        socket.clone(),
+        1024,
         Time(0),
     ));
     table.insert(&connection);
@@ -213,8 +226,7 @@
 fn the_deadline_of_a_partial_message_leaves_time_for_pending_set_ups() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let (socket, _peer) = small_buffer_pair(&listener);
-    let connection =
-        ViewerConnection::new(ConnectionId(1), WriteBuffer::new(socket, 1024), Time(0));
+    let connection = viewer_connection(ConnectionId(1), socket, 1024, Time(0));
     connection.extend_output_deadline(Time(100));
     let timeout = Duration::from_nanos(10);
     assert_eq!(connection.message_deadline(Time(5), timeout), Time(15));
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -41,7 +41,7 @@
     AttemptId, Core, CoreConfig, EndpointListKind, EventObserver, Input, Output, PlayerId,
     ServerId, Time,
 };
-use crankpaddle_net::{clock, drain_after_stall, drain_queue, recv_until};
+use crankpaddle_net::{clock, drain_after_stall, drain_queue, recv_until, PollingBreak};
 use crankpaddle_node_protocol::directory::ServerEntry;
 use crankpaddle_node_protocol::viewers::cause;
 use crankpaddle_node_protocol::Tag;
@@ -180,7 +180,11 @@
     /// Runs until graceful shutdown is complete, or until all senders of the inbox are gone.
     pub(crate) fn run(mut self, inbox: &Receiver<InboxMessage>) {
         let mut schedule = Schedule::starting_at(clock::now());
+        let mut polling_break = PollingBreak::starting_at(clock::now());
         while !self.try_complete_shutdown() {
+            if self.shared.has_woken_readers.swap(false, Ordering::Relaxed) {
+                polling_break.take_if_due();
+            }
             if self.wait_for_message(inbox, &schedule).is_break() {
                 break;
             }
@@ -254,10 +258,13 @@
     /// Queues a message. Messages that were read from a server in one piece are queued one by one.
     fn enqueue(&mut self, message: InboxMessage) {
         match message {
-            InboxMessage::FromServer(link, messages) => {
-                let each = messages
-                    .into_iter()
-                    .map(|message| InboxMessage::FromServer(link, vec![message]));
+            InboxMessage::FromServer(link, messages, mut queued) => {
+                let count = messages.len();
+                let each = messages.into_iter().enumerate().map(|(index, message)| {
+                    let is_last = index + 1 == count;
+                    let queued = queued.take_if(|_| is_last);
+                    InboxMessage::FromServer(link, vec![message], queued)
+                });
                 self.message_queue.extend(each);
             }
             other => self.message_queue.push_back(other),
@@ -273,6 +280,7 @@
                 connection,
                 message,
                 received_at,
+                queued,
             } => {
                 self.handle_viewer_message(connection, message, received_at);
                 // The count is lowered last: a set-up in the message is then already counted as pending, so the connection has
@@ -280,13 +288,14 @@
                 if let Some(connection) = self.connections.get(&connection) {
                     connection.queued_messages.fetch_sub(1, Ordering::AcqRel);
                 }
+                drop(queued);
             }
             InboxMessage::ViewerDisconnected(connection, delivery) => {
                 self.viewer_disconnected(connection);
                 self.resend_undelivered(connection, delivery);
             }
             InboxMessage::ConnectCompleted(link, result) => self.connect_completed(link, result),
-            InboxMessage::FromServer(link, messages) => {
+            InboxMessage::FromServer(link, messages, _queued) => {
                 for message in &messages {
                     self.handle_server_message(link, message);
                 }
--- a/crates/node/src/event_loop/set_up_responses.rs
+++ b/crates/node/src/event_loop/set_up_responses.rs
@@ -150,7 +150,7 @@
             .message_queue
             .iter()
             .filter_map(|message| match message {
-                InboxMessage::FromServer(link, messages) if is_of_server(link) => Some(messages),
+                InboxMessage::FromServer(link, messages, _) if is_of_server(link) => Some(messages),
                 _ => None,
             });
         let release = queued
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 //! - `server_connector`: connections to servers
 //! - `directory_poller`: polling of the directory
 //! - `health`: failure detection for servers, without I/O
+//! - `input_gate`: bound on the messages of a connection that wait for the event loop
 //! - `budget`: bounds on connections, set-ups and buffers, without I/O
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -17,6 +18,7 @@
 mod directory_poller;
 mod event_loop;
 mod health;
+mod input_gate;
 mod server_connector;
 mod shared;
 mod viewer_connection;
--- a/crates/node/src/server_connector.rs
+++ b/crates/node/src/server_connector.rs
@@ -1,6 +1,7 @@
 //! Connects to servers and reads their messages, with one coroutine for each connection.
 use crate::event_loop::delivery::DeliveryStatus;
 use crate::health::{connect_timeout, ConnectFailure};
+use crate::input_gate::MESSAGE_OVERHEAD_BYTES;
 use crate::shared::{increment, report_aborted_reader, InboxMessage, LinkEnd, LinkId, Shared};
 use crankpaddle_net::{spawn_with_state, CloseReason, ReadEnd, Socket, Stack, WriteBuffer};
 use crankpaddle_node_protocol::rtsp::Decoder;
@@ -121,11 +122,16 @@
     shared: &Shared,
 ) -> ReadEnd {
     let mut messages = Vec::new();
+    let gate = shared.input_gate(outbox.socket());
+    let mut incomplete_bytes = 0;
     outbox.read_each::<READ_BYTES>(|bytes| {
         let decoded = decoder.feed(bytes, &mut messages);
+        incomplete_bytes += bytes.len();
         if !messages.is_empty() {
             let complete = std::mem::take(&mut messages);
-            shared.send(InboxMessage::FromServer(link, complete));
+            let overhead_bytes = complete.len() * MESSAGE_OVERHEAD_BYTES;
+            let queued = gate.admit(std::mem::take(&mut incomplete_bytes) + overhead_bytes);
+            shared.send(InboxMessage::FromServer(link, complete, Some(queued)));
         }
         if let Err(error) = &decoded {
             tracing::debug!(link_id = link.0, reason = %error, "malformed server stream");
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -3,15 +3,16 @@
 use crate::connection_table::ConnectionTable;
 use crate::event_loop::delivery::DeliveryStatus;
 use crate::health::ConnectFailure;
+use crate::input_gate::{InputGate, QueuedInput};
 use crate::viewer_connection::{ConnectionId, ViewerConnection};
-use crankpaddle_net::{AcceptHandle, CloseReason, IdleSweeper, ReadEnd, WriteBuffer};
+use crankpaddle_net::{AcceptHandle, CloseReason, IdleSweeper, ReadEnd, Socket, WriteBuffer};
 use crankpaddle_node_protocol::config::Config;
 use crankpaddle_node_protocol::directory::ServerList;
 use crankpaddle_node_protocol::{rtsp, viewers};
 use crankpaddle_time::Time;
 use may::sync::mpsc::{channel, Receiver, Sender};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -42,13 +43,16 @@
         message: viewers::Message,
         /// When the message was read from the socket.
         received_at: Time,
+        /// Dropped when the message is handled.
+        queued: QueuedInput,
     },
     /// A viewer's connection has ended.
     ViewerDisconnected(ConnectionId, DeliveryStatus),
     /// A connect to a server completed.
     ConnectCompleted(LinkId, Result<Arc<WriteBuffer>, ConnectFailure>),
-    /// A server sent these messages, which were read from the socket in one piece.
-    FromServer(LinkId, Vec<rtsp::Message>),
+    /// A server sent these messages, which were read from the socket in one piece. The last field is dropped when the last of them
+    /// is handled.
+    FromServer(LinkId, Vec<rtsp::Message>, Option<QueuedInput>),
     /// A connection to a server has ended.
     LinkClosed(LinkId, LinkEnd, DeliveryStatus),
     /// The directory has a new list.
@@ -70,6 +74,8 @@
     pub links: usize,
     /// Entries of the event loop's tables: sessions, attempts, abandoned set-ups, and messages that no connection accepted.
     pub entries: usize,
+    /// Memory for messages of viewers that were read and are not handled, in bytes.
+    pub queued_input_bytes: usize,
 }
 
 /// Counters of rejected or dropped input since the start, by kind. Logged with the counts as `dropped`.
@@ -100,6 +106,8 @@
     pub(crate) drop_counters: DropCounters,
     /// Number of descriptors of connections to servers, including connections that are being closed.
     pub(crate) link_descriptors: AtomicUsize,
+    /// Whether a reader that waited for its input gate was woken since the event loop last looked.
+    pub(crate) has_woken_readers: Arc<AtomicBool>,
     /// [`Counts::waiting`], set by the event loop.
     pub(crate) waiting: AtomicUsize,
     /// [`Counts::playing`], set by the event loop.
@@ -124,6 +132,7 @@
             sweeper: IdleSweeper::start(SWEEP_INTERVAL),
             drop_counters: DropCounters::default(),
             link_descriptors: AtomicUsize::new(0),
+            has_woken_readers: Arc::default(),
             waiting: AtomicUsize::new(0),
             playing: AtomicUsize::new(0),
             entries: AtomicUsize::new(0),
@@ -140,6 +149,15 @@
         let _ = self.inbox.send(message);
     }
 
+    /// The gate for the input of a connection.
+    pub(crate) fn input_gate(&self, socket: &Arc<Socket>) -> Arc<InputGate> {
+        Arc::new(InputGate::new(
+            socket.clone(),
+            self.budget.max_queued_input_bytes,
+            self.has_woken_readers.clone(),
+        ))
+    }
+
     pub(crate) fn nameserver(&self) -> SocketAddr {
         *self
             .nameserver
@@ -177,6 +195,7 @@
             viewers: self.connections.count(),
             links: self.link_descriptors.load(Ordering::Relaxed),
             entries: self.entries.load(Ordering::Relaxed),
+            queued_input_bytes: self.connections.queued_input_bytes(),
         }
     }
 }
--- a/crates/node/src/viewer_connection.rs
+++ b/crates/node/src/viewer_connection.rs
@@ -1,7 +1,9 @@
 //! A viewer's connection, shared by its reader and the event loop, and the work that is pending on it.
+use crate::input_gate::InputGate;
 use crankpaddle_net::{clock, WriteBuffer};
 use crankpaddle_time::{AtomicTime, Time};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// How long a connection that this node has closed for writing stays open for its viewer to close it too.
@@ -24,7 +26,10 @@
 pub(crate) struct ViewerConnection {
     pub(crate) id: ConnectionId,
     pub(crate) outbox: WriteBuffer,
-    /// Number of messages that were read and that the event loop has not handled yet.
+    /// Bounds the messages that were read and that the event loop has not handled yet.
+    pub(crate) input_gate: Arc<InputGate>,
+    /// Number of messages that were read and that the event loop has not handled yet, including one that waits for the gate. It
+    /// is not 0 while a complete message is in the reader's buffer.
     pub(crate) queued_messages: AtomicUsize,
     /// Number of set-ups that were handled and wait for an answer.
     pub(crate) pending_set_ups: AtomicUsize,
@@ -41,10 +46,16 @@
 }
 
 impl ViewerConnection {
-    pub(crate) fn new(id: ConnectionId, outbox: WriteBuffer, now: Time) -> ViewerConnection {
+    pub(crate) fn new(
+        id: ConnectionId,
+        outbox: WriteBuffer,
+        input_gate: Arc<InputGate>,
+        now: Time,
+    ) -> ViewerConnection {
         ViewerConnection {
             id,
             outbox,
+            input_gate,
             queued_messages: AtomicUsize::new(0),
             pending_set_ups: AtomicUsize::new(0),
             has_partial_message: AtomicBool::new(false),
--- a/crates/node/src/viewer_reader.rs
+++ b/crates/node/src/viewer_reader.rs
@@ -1,5 +1,6 @@
 //! Reads viewers' connections, and closes those that do not complete a message in time.
 use crate::event_loop::delivery::DeliveryStatus;
+use crate::input_gate::message_bytes;
 use crate::shared::{increment, report_aborted_reader, InboxMessage, Shared};
 use crate::viewer_connection::ViewerConnection;
 use crankpaddle_net::{clock, CloseReason, ReadEnd, Socket, WriteBuffer};
@@ -79,9 +80,10 @@
     let socket = Arc::new(socket);
     socket.set_expiry(now + MESSAGE_TIMEOUT);
     shared.sweeper.watch(&socket);
+    let input_gate = shared.input_gate(&socket);
     let outbox = WriteBuffer::new(socket, shared.budget.max_outbox_bytes);
     let id = shared.connections.next_id();
-    Arc::new(ViewerConnection::new(id, outbox, now))
+    Arc::new(ViewerConnection::new(id, outbox, input_gate, now))
 }
 
 /// Logs which side ended a connection and why, and what was pending on it. `end` is `None` if the reader did not return.
@@ -103,7 +105,6 @@
     connection: &'a ViewerConnection,
     shared: &'a Shared,
     decoder: Decoder,
-    messages: Vec<viewers::Message>,
     has_partial_message: bool,
 }
 
@@ -113,7 +114,6 @@
             connection,
             shared,
             decoder: Decoder::default(),
-            messages: Vec::new(),
             has_partial_message: false,
         }
     }
@@ -123,14 +123,16 @@
         outbox.read_each::<READ_BYTES>(|bytes| self.handle_bytes(bytes))
     }
 
-    /// Decodes bytes that were read, and forwards complete messages; false if the connection is to be closed.
+    /// Decodes bytes that were read, and forwards complete messages, one at a time as the event loop has room for them; false if
+    /// the connection is to be closed.
     fn handle_bytes(&mut self, bytes: &[u8]) -> bool {
         let now = clock::now();
-        let decoded = self.decoder.feed(bytes, &mut self.messages);
-        let has_complete_message = !self.messages.is_empty();
-        if has_complete_message {
-            self.forward_messages(now);
-        }
+        let (connection, shared) = (self.connection, self.shared);
+        let mut has_complete_message = false;
+        let decoded = self.decoder.feed_each(bytes, |message, length| {
+            has_complete_message = true;
+            forward_message(connection, shared, message, length, now);
+        });
         if let Err(error) = decoded {
             tracing::debug!(connection_id = self.connection.id.0, reason = %error, "malformed viewer stream");
             increment(&self.shared.drop_counters.malformed);
@@ -141,23 +143,6 @@
         !self.connection.outbox.socket().is_expired(now)
     }
 
-    fn forward_messages(&mut self, now: Time) {
-        let connection = self.connection;
-        connection.set_expiry(Time::MAX);
-        connection.has_sent_message.store(true, Ordering::Relaxed);
-        connection.set_last_used(now);
-        connection
-            .queued_messages
-            .fetch_add(self.messages.len(), Ordering::AcqRel);
-        for message in self.messages.drain(..) {
-            self.shared.send(InboxMessage::FromViewer {
-                connection: connection.id,
-                message,
-                received_at: now,
-            });
-        }
-    }
-
     /// Sets the deadline of a partially received message when its first byte is received. Later bytes do not extend it.
     fn update_partial_message_deadline(&mut self, now: Time, has_complete_message: bool) {
         let connection = self.connection;
@@ -173,3 +158,24 @@
             .store(is_partial, Ordering::Release);
     }
 }
+
+/// Passes a message to the event loop once there is room for it. `length` is its length on the wire.
+fn forward_message(
+    connection: &ViewerConnection,
+    shared: &Shared,
+    message: viewers::Message,
+    length: usize,
+    received_at: Time,
+) {
+    connection.set_expiry(Time::MAX);
+    connection.has_sent_message.store(true, Ordering::Relaxed);
+    connection.set_last_used(received_at);
+    connection.queued_messages.fetch_add(1, Ordering::AcqRel);
+    let queued = connection.input_gate.admit(message_bytes(length));
+    shared.send(InboxMessage::FromViewer {
+        connection: connection.id,
+        message,
+        received_at,
+        queued,
+    });
+}
