Responses of the directory are handled as they arrive, not one a round

Callers saw: after the directory's process stood still for 3 s, the node used its lists up to 4 s late until a restart; 20 s later a draining server got set-ups 1.4 s after the answer that told of its drain (1.05 s are allowed).

Cause: some 15 responses arrived at once, and each round of the poller took the oldest from the socket and caused another by a new query, so the queue stayed. Evidence: the new test's directory answers 15 waiting queries at once, and the change is in a later response: before, the node does not act on it.

Change: the thread waits in the socket until the next query is due and handles every response when it arrives; queries to a directory that answers slowly are spaced, so that no queue stays there either.

Not run on x86-64.

--- a/crates/node/src/directory_poller.rs
+++ b/crates/node/src/directory_poller.rs
@@ -1,21 +1,15 @@
 //! Polls the directory for its list of servers, on a thread of its own that may block.
+use crate::directory_queries::DirectoryQueries;
 use crate::shared::{InboxMessage, Shared};
 use crankpaddle_node_protocol::directory::{
     message_id, parse_response, query, ServerList, MAX_RESPONSE_BYTES,
 };
-use std::collections::VecDeque;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Time between a response and the next query. A node has to learn of a change within 1.5 s.
-const POLL_INTERVAL: Duration = Duration::from_millis(250);
-/// Time without a response after which the next query is sent.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(200);
-/// Responses that take longer than this are dropped, because their lists may be long out of date.
-const MAX_RESPONSE_AGE: Duration = Duration::from_secs(4);
 /// Number of consecutive responses with a lower serial after which an error is logged.
 const STALE_RESPONSES_BEFORE_ERROR: u32 = 20;
 /// Size of the thread's stack.
@@ -41,7 +35,7 @@
     let mut queries = QuerySocket {
         socket,
         directory: None,
-        outstanding: VecDeque::new(),
+        queries: DirectoryQueries::starting_at(Instant::now()),
     };
     let mut current = CurrentList {
         list: shared.config.initial_list.clone(),
@@ -49,14 +43,11 @@
     };
     while !stopped.load(Ordering::Acquire) {
         queries.connect(shared.nameserver());
-        queries.send_query();
-        let Some(list) = queries.receive_list() else {
-            continue;
-        };
-        if let Some(changed) = current.update(list) {
+        queries.send_if_due();
+        let changed = queries.receive_list().and_then(|list| current.update(list));
+        if let Some(changed) = changed {
             shared.send(InboxMessage::EndpointList(changed));
         }
-        std::thread::sleep(POLL_INTERVAL);
     }
 }
 
@@ -98,26 +89,20 @@
     }
 }
 
-/// A query whose response may still be received.
-struct OutstandingQuery {
-    id: u16,
-    sent_at: Instant,
-}
-
-/// The socket for queries to the current directory, and the outstanding queries.
+/// The socket for queries to the current directory.
 struct QuerySocket {
     socket: UdpSocket,
     directory: Option<SocketAddr>,
-    outstanding: VecDeque<OutstandingQuery>,
+    queries: DirectoryQueries,
 }
 
 impl QuerySocket {
-    /// Sends queries to this directory from now on. Responses of the previous one are ignored.
+    /// Sends queries to this directory from now on, the first one at once. Responses of the previous one are ignored.
     fn connect(&mut self, directory: SocketAddr) {
         if self.directory == Some(directory) {
             return;
         }
-        self.outstanding.clear();
+        self.queries = DirectoryQueries::starting_at(Instant::now());
         self.directory = match self.socket.connect(directory) {
             Ok(()) => Some(directory),
             Err(error) => {
@@ -127,41 +112,29 @@
         };
     }
 
-    fn send_query(&mut self) {
+    fn send_if_due(&mut self) {
         let now = Instant::now();
-        self.remove_expired(now);
+        if !self.queries.time_to_next_query(now).is_zero() {
+            return;
+        }
         let id: u16 = rand::random();
         let sent = query(id)
             .map_err(io::Error::other)
             .and_then(|bytes| self.socket.send(&bytes));
-        match sent {
-            Ok(_) => self
-                .outstanding
-                .push_back(OutstandingQuery { id, sent_at: now }),
-            Err(error) => tracing::debug!(reason = %error, "directory query not sent"),
+        if let Err(error) = &sent {
+            tracing::debug!(reason = %error, "directory query not sent");
         }
+        self.queries.record_query(sent.is_ok().then_some(id), now);
     }
 
-    fn remove_expired(&mut self, now: Instant) {
-        while let Some(oldest) = self.outstanding.front() {
-            if now.duration_since(oldest.sent_at) <= MAX_RESPONSE_AGE {
-                return;
-            }
-            self.outstanding.pop_front();
-        }
-    }
-
-    /// Waits up to [`RESPONSE_TIMEOUT`] for a response to any outstanding query, and returns its list.
-    ///
-    /// If only the latest query counted, no response of a directory that takes longer than the timeout would ever be used. A
-    /// response may be as old as [`MAX_RESPONSE_AGE`], since a newer list has a higher serial and replaces it.
+    /// Waits for a response to any outstanding query until the next query is due, and returns its list.
     fn receive_list(&mut self) -> Option<ServerList> {
-        let deadline = Instant::now() + RESPONSE_TIMEOUT;
         let mut bytes = [0u8; MAX_RESPONSE_BYTES];
         loop {
-            let remaining = deadline
-                .checked_duration_since(Instant::now())
-                .filter(|remaining| !remaining.is_zero())?;
+            let remaining = self.queries.time_to_next_query(Instant::now());
+            if remaining.is_zero() {
+                return None;
+            }
             match self.receive(&mut bytes, remaining) {
                 Ok(length) => {
                     if let Some(list) = self.read_response(&bytes[..length]) {
@@ -181,16 +154,15 @@
     }
 
     fn read_response(&mut self, bytes: &[u8]) -> Option<ServerList> {
-        let position = message_id(bytes)
-            .and_then(|id| self.outstanding.iter().position(|query| query.id == id));
-        let Some(position) = position else {
+        let Some(id) = message_id(bytes).filter(|id| self.queries.is_outstanding(*id)) else {
             tracing::debug!("unsolicited directory response");
             return None;
         };
-        match parse_response(self.outstanding[position].id, bytes) {
+        match parse_response(id, bytes) {
             Ok(list) => {
-                self.outstanding.remove(position);
-                Some(list)
+                let is_usable = self.queries.record_response(id, Instant::now());
+                tracing::debug!(serial = list.serial, is_usable, "directory response");
+                is_usable.then_some(list)
             }
             // The query stays outstanding, because a usable response to it may still arrive.
             Err(error) => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 //! - `viewer_reader`, `viewer_connection`, `connection_table`: viewers' connections
 //! - `server_connector`: connections to servers
 //! - `directory_poller`: polling of the directory
+//! - `directory_queries`: when it is queried, and which responses are used, without I/O
 //! - `health`: failure detection for servers, without I/O
 //! - `input_gate`: bound on the messages of a connection that wait for the event loop
 //! - `budget`: bounds on connections, set-ups and buffers, without I/O
@@ -16,6 +17,7 @@
 mod budget;
 mod connection_table;
 mod directory_poller;
+mod directory_queries;
 mod event_loop;
 mod health;
 mod input_gate;
--- a/crates/node/tests/faulty_directory.rs
+++ b/crates/node/tests/faulty_directory.rs
@@ -62,6 +62,34 @@
     );
 }
 
+/// Guards against responses that stay in the socket: after 3 s in which the directory stood still, the node took each time the
+/// oldest of 15 responses, and learned of a drain up to 4 s after it was told.
+#[test]
+fn a_change_after_a_time_without_responses_is_noticed_with_the_next_response() {
+    let harness = Harness::start(2);
+    for times_stopped in 1..=2 {
+        harness
+            .directory
+            .update(|state| state.fault = Some(DirectoryFault::Stopped));
+        harness.directory.wait_for_queries(15);
+        harness.directory.update(|state| state.fault = None);
+        harness.directory.wait_for_queries(2);
+        harness.directory.update(|state| {
+            state.serial += 1;
+            state.servers[0].priority = times_stopped % 2;
+            state.servers[1].priority = 1 - times_stopped % 2;
+        });
+        harness.directory.wait_for_queries(3);
+        let ready = usize::from(times_stopped == 1);
+        let mut viewer = harness.viewer();
+        for n in 0..10 {
+            let id = tag(100 * u64::from(times_stopped) + n);
+            let (server, _) = harness.establish(&mut viewer, id, FREE);
+            assert_eq!(server.name, harness.servers[ready].name);
+        }
+    }
+}
+
 #[test]
 fn a_new_nameserver_is_polled_at_once_and_sessions_go_on() {
     let harness = Harness::start(2);
--- a/crates/node/tests/support/directory.rs
+++ b/crates/node/tests/support/directory.rs
@@ -40,6 +40,8 @@
     WrongId,
     /// None is sent.
     Silence,
+    /// The process stands still: queries wait in its socket. When it goes on, it answers them all with its list of then.
+    Stopped,
     /// Each response is sent after this number of further queries was received.
     DelayedBy(usize),
 }
@@ -60,14 +62,20 @@
         let (current_state, query_count) = (state.clone(), queries.clone());
         std::thread::spawn(move || {
             let (mut bytes, mut delayed) = ([0u8; 1024], VecDeque::new());
+            let mut waiting = Vec::new();
             while let Ok((length, from)) = socket.recv_from(&mut bytes) {
                 let Ok(query) = Dns::from_vec(&bytes[..length]) else {
                     continue;
                 };
                 let state = current_state.lock().expect("unpoisoned").clone();
-                let answer = response(query.metadata.id, &state);
-                if state.fault != Some(DirectoryFault::Silence) {
-                    delayed.push_back((answer.to_vec().expect("an encodable response"), from));
+                waiting.push((query.metadata.id, from));
+                match state.fault {
+                    Some(DirectoryFault::Stopped) => {}
+                    Some(DirectoryFault::Silence) => waiting.clear(),
+                    _ => delayed.extend(waiting.drain(..).map(|(id, from)| {
+                        let answer = response(id, &state);
+                        (answer.to_vec().expect("an encodable response"), from)
+                    })),
                 }
                 let delay = if let Some(DirectoryFault::DelayedBy(queries)) = state.fault {
                     queries
