Peers at full speed no longer keep other connections of the front from being read

Cause: may polls sockets only when no coroutine is runnable, and the readers of HTTP messages, event streams and players never waited while bytes arrived; the node's readers had a budget for that, these had none.

Change: YieldBudget::read for HTTP exchanges, and the same budget for players. The result of an attempt is reported by the state of its coroutine, so a panic no longer loses it.

--- a/crates/daemon/src/attempt_sender.rs
+++ b/crates/daemon/src/attempt_sender.rs
@@ -4,11 +4,11 @@
 use crate::shared::Shared;
 use crankpaddle_front::{AttemptId, AttemptOutcome, SetUpResult};
 use crankpaddle_net::exchange::{ExchangeError, HttpExchange};
-use crankpaddle_net::{spawn, CloseReason, Socket, Stack};
+use crankpaddle_net::{spawn_with_state, CloseReason, Socket, Stack};
 use crankpaddle_server_protocol::sessions;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// Largest accepted body of a response.
 const MAX_RESPONSE_BYTES: u64 = 64 * 1024;
@@ -63,11 +63,41 @@
     }
 }
 
+/// Reports the result of an attempt to the event loop when it is dropped. It is the state of the attempt's coroutine, so an
+/// attempt whose coroutine panics or overflows its stack ends too.
+struct ResultReport {
+    shared: Arc<Shared>,
+    attempt: AttemptId,
+    /// `None` if the coroutine did not return. The set-up may have run then.
+    result: Mutex<Option<SetUpResult>>,
+}
+
+impl ResultReport {
+    fn result(&self) -> MutexGuard<'_, Option<SetUpResult>> {
+        self.result.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for ResultReport {
+    fn drop(&mut self) {
+        let result = self.result().take();
+        self.shared.send(EventLoopMessage::SetUpCompleted {
+            attempt: self.attempt,
+            result: result.unwrap_or(SetUpResult::Ended(AttemptOutcome::Reset, Vec::new())),
+        });
+    }
+}
+
 /// Sends an attempt; its result reaches the event loop as a message.
 pub(crate) fn send(shared: Arc<Shared>, attempt: AttemptId, request: SetUpRequest) {
-    spawn(Stack::Default, move || {
-        let result = perform(&shared, &request);
-        shared.send(EventLoopMessage::SetUpCompleted { attempt, result });
+    let report = ResultReport {
+        shared,
+        attempt,
+        result: Mutex::new(None),
+    };
+    spawn_with_state(Stack::Default, report, move |report| {
+        let result = perform(&report.shared, &request);
+        *report.result() = Some(result);
     });
 }
 
--- a/crates/daemon/src/player_session.rs
+++ b/crates/daemon/src/player_session.rs
@@ -4,7 +4,7 @@
 use crate::player_listener::AcceptedConnection;
 use crate::shared::Shared;
 use crate::websocket_handshake::AcceptedHandshake;
-use crankpaddle_net::{sleep, Socket};
+use crankpaddle_net::{sleep, Socket, YieldBudget};
 use crankpaddle_time::Time;
 use std::io::{self, Read, Write};
 use std::sync::Arc;
@@ -78,7 +78,10 @@
     player: &PlayerConnection,
     context: &mut WebSocketContext,
 ) -> Option<CloseStatus> {
-    let mut stream = PlayerStream { player };
+    let mut stream = PlayerStream {
+        player,
+        yield_budget: YieldBudget::default(),
+    };
     let mut calls = CallReader::new(shared, player);
     loop {
         match context.read(&mut stream) {
@@ -122,6 +125,7 @@
 /// loop, so that frames are sent in order and never mixed.
 struct PlayerStream<'a> {
     player: &'a PlayerConnection,
+    yield_budget: YieldBudget,
 }
 
 impl Read for PlayerStream<'_> {
@@ -132,9 +136,11 @@
             outbox.flush();
             if let Some(count) = socket.try_read(buffer)? {
                 self.player.received();
+                self.yield_budget.spend(); // The socket of a player that sends at full speed is always readable.
                 return Ok(count);
             }
             socket.wait();
+            self.yield_budget.reset();
         }
     }
 }
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -1,6 +1,5 @@
 //! Receiving HTTP messages and event streams from a socket.
-use crate::clock;
-use crate::Socket;
+use crate::{clock, Socket, YieldBudget};
 use crankpaddle_http::body::BodyDecoder;
 use crankpaddle_http::head::{Framing, Request, Response};
 use crankpaddle_http::sse::{Event, EventDecoder};
@@ -39,6 +38,7 @@
     pub socket: Arc<Socket>,
     /// Received bytes that belong to no message returned so far.
     buffer: Vec<u8>,
+    yield_budget: YieldBudget,
 }
 
 /// Most bytes of one read from the socket.
@@ -51,6 +51,7 @@
         HttpExchange {
             socket,
             buffer: Vec::new(),
+            yield_budget: YieldBudget::default(),
         }
     }
 
@@ -69,7 +70,7 @@
     /// Reads at least one byte into the buffer.
     fn fill_buffer(&mut self) -> Result<(), ExchangeError> {
         let mut bytes = [0u8; READ_BYTES];
-        match self.socket.read(&mut bytes) {
+        match self.yield_budget.read(&self.socket, &mut bytes) {
             Ok(0) | Err(_) if self.buffer.is_empty() => Err(ExchangeError::Closed),
             Ok(0) | Err(_) => Err(ExchangeError::Broken),
             Ok(count) => {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -23,4 +23,4 @@
 };
 pub use socket::{CloseReason, PeerState, Socket, WriteError};
 pub use write_buffer::{ReadEnd, WriteBuffer};
-pub use yield_budget::PollingBreak;
+pub use yield_budget::{PollingBreak, YieldBudget};
--- a/crates/net/src/yield_budget.rs
+++ b/crates/net/src/yield_budget.rs
@@ -1,8 +1,10 @@
 //! Fairness between coroutines whose operations never have to wait.
 use crate::clock;
 use crate::runtime::{sleep, MIN_WAIT};
+use crate::Socket;
 use crankpaddle_time::Time;
 use may::coroutine;
+use std::io;
 use std::time::Duration;
 
 /// Operations in a row that a coroutine may complete without waiting.
@@ -15,13 +17,13 @@
 /// immediately, and with one worker no other socket would be polled until the sender stops. In tests of the front node,
 /// other connections waited 2 s while one client flooded it. The cost is that such a connection is read at a bounded rate.
 #[derive(Debug, Default)]
-pub(crate) struct YieldBudget {
+pub struct YieldBudget {
     operations: u32,
 }
 
 impl YieldBudget {
     /// Counts an operation that completed without waiting; sleeps if the budget is used up.
-    pub(crate) fn spend(&mut self) {
+    pub fn spend(&mut self) {
         self.operations += 1;
         if self.operations >= MAX_CONSECUTIVE_OPERATIONS {
             sleep(MIN_WAIT);
@@ -29,8 +31,23 @@
         }
     }
 
+    /// Reads from a socket like [`Socket::read`], and suspends the coroutine after too many reads that did not have to wait.
+    ///
+    /// # Errors
+    /// The connection failed.
+    pub fn read(&mut self, socket: &Socket, buffer: &mut [u8]) -> io::Result<usize> {
+        loop {
+            if let Some(count) = socket.try_read(buffer)? {
+                self.spend();
+                return Ok(count);
+            }
+            socket.wait();
+            self.reset();
+        }
+    }
+
     /// Restarts the count after the coroutine has waited, because other coroutines could run meanwhile.
-    pub(crate) fn reset(&mut self) {
+    pub fn reset(&mut self) {
         self.operations = 0;
     }
 }
