--- a/crates/node/src/directory_queries.rs
+++ b/crates/node/src/directory_queries.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 /// Time between a response and the next query. A node has to learn of a change within 1.5 s.
-pub(crate) const POLL_INTERVAL: Duration = Duration::from_millis(250);
+const POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Time without a response after which the next query is sent.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Responses that take longer than this are dropped, because their lists may be long out of date.
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -41,7 +41,7 @@
     AttemptId, Core, CoreConfig, EndpointListKind, EventObserver, Input, Output, PlayerId,
     ServerId, Time,
 };
-use crankpaddle_net::{clock, drain_after_stall, drain_queue, recv_until, PollingBreak};
+use crankpaddle_net::{clock, drain_after_stall, drain_queue, recv_until, sleep, PollingBreak};
 use crankpaddle_node_protocol::directory::ServerEntry;
 use crankpaddle_node_protocol::viewers::cause;
 use crankpaddle_node_protocol::Tag;
@@ -63,6 +63,9 @@
 
 /// Maximum number of messages that are handled before timers are checked.
 const MESSAGE_BATCH: usize = 128;
+/// How often readers that waited for room get to run after a stall before overdue timers are handled, and for how long.
+const MAX_CATCH_UP_ROUNDS: u32 = 8;
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(1);
 /// How long before its viewer times out a set-up is answered at the latest.
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
 /// How far the wait that a viewer requests may exceed its class's deadline. A set-up with a longer wait is invalid.
@@ -234,9 +237,21 @@
     }
 
     /// After the whole process was stalled, handles the messages that arrived meanwhile before the timers that fell due.
+    ///
+    /// Readers pass on as much as their gates let through, so they get to run again after what they passed on was handled.
     fn catch_up_after_stall(&mut self, inbox: &Receiver<InboxMessage>) {
         let due_at = self.next_core_expiry();
-        let stalled = drain_after_stall(due_at, || self.drain_inbox(inbox) == MESSAGE_BATCH);
+        let mut rounds = 0;
+        let stalled = drain_after_stall(due_at, || {
+            let count = self.drain_inbox(inbox);
+            let has_woken_readers = self.shared.has_woken_readers.swap(false, Ordering::Relaxed);
+            if has_woken_readers && rounds < MAX_CATCH_UP_ROUNDS {
+                rounds += 1;
+                sleep(CATCH_UP_PAUSE);
+                return true;
+            }
+            count == MESSAGE_BATCH
+        });
         if stalled {
             tracing::warn!("event loop stalled");
         }
--- a/crates/node/src/viewer_reader.rs
+++ b/crates/node/src/viewer_reader.rs
@@ -30,11 +30,11 @@
 
 impl ConnectionSlot {
     fn end_connection(&self, connection: &ViewerConnection) {
-        let end = self.read_end.get().copied();
-        if end.is_none() {
+        let end = self.read_end.get().copied().unwrap_or_else(|| {
             report_aborted_reader(&self.shared, "viewer", connection.id.0);
-        }
-        let delivery = DeliveryStatus::at_end(end.unwrap_or(ReadEnd::Stopped), &connection.outbox);
+            ReadEnd::Stopped
+        });
+        let delivery = DeliveryStatus::at_end(end, &connection.outbox);
         connection.outbox.socket().close(CloseReason::ReadEnded);
         log_end(connection, end);
         self.shared.connections.remove(connection.id);
@@ -86,8 +86,8 @@
     Arc::new(ViewerConnection::new(id, outbox, input_gate, now))
 }
 
-/// Logs which side ended a connection and why, and what was pending on it. `end` is `None` if the reader did not return.
-fn log_end(connection: &ViewerConnection, end: Option<ReadEnd>) {
+/// Logs which side ended a connection and why, and what was pending on it.
+fn log_end(connection: &ViewerConnection, end: ReadEnd) {
     tracing::debug!(
         connection_id = connection.id.0,
         ?end,
