Review, case 6: an answer with a length that does not fit is passed on as served

Cause: the messages that were decoded before a decoding error are handled as sound, so a 200 whose Content-Length is too short reaches the viewer with a cut description.

--- /dev/null
+++ b/review/6/case.rs
@@ -0,0 +1,51 @@
+//! Spoilt answers whose stated length is shorter than the description: what is the viewer told?
+#[path = "../stand-ins-2/kit.rs"]
+mod kit;
+use kit::*;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+fn main() {
+    begin(&std::env::args().nth(1).expect("a folder"));
+    let answered = AtomicU64::new(0);
+    let answered: &'static AtomicU64 = Box::leak(Box::new(answered));
+    let answer = move |server: &Server, set_up: &SetUp| {
+        std::thread::sleep(ms(20));
+        let body = description(&server.name, &set_up.tag);
+        if trouble() && answered.fetch_add(1, Ordering::SeqCst) % 5 == 3 {
+            note(format!("{}: answers {} with a length that does not fit (9 bytes too short)", server.name, set_up.tag));
+            return Reply::Bytes(ok_answer(&set_up.tag, &body, body.len() - 9));
+        }
+        Reply::Ok
+    };
+    let servers: Vec<Server> = (1..=3).map(|n| Server::start(&format!("s-{n:08x}"), ms(3500), answer)).collect();
+    let entries = servers.iter().enumerate().map(|(cell, server)| server.entry(cell as u16)).collect();
+    let directory = Directory::start(entries, ms(2));
+    let mut node = start_node(&Settings { told_every_ms: 3500, drain_grace_ms: 1000 }, &directory);
+    let mut viewer = Viewer::connect("viewer", node.address);
+    viewer.echo();
+    let mut broken = Vec::new();
+    let mut served = 0;
+    for number in 1..=24u64 {
+        let id = tag(0x6000 + number);
+        let (class, left) = if number % 2 == 0 { ("licensed-view", 4000) } else { ("preview", 5000) };
+        viewer.start(&id, class, left, "");
+        let answer = viewer.wait(ms(left + 550), |line| line.contains(&id) && (line.contains("STARTED") || line.contains("FINISH")));
+        match answer {
+            None => broken.push(format!("{id} ({class}) got no answer in its time")),
+            Some((_, line)) if line.contains("STARTED") => {
+                served += 1;
+                let made: Vec<String> = servers.iter().map(|s| description(&s.name, &id).replace("\r\n", "\\r\\n")).collect();
+                if !made.iter().any(|text| line.contains(&format!("\"blob\":\"{text}\""))) {
+                    broken.push(format!("{id} ({class}) was answered 'served' with a description that no server made: {line}"));
+                }
+            }
+            Some(_) => {}
+        }
+        std::thread::sleep(ms(250));
+    }
+    note(format!("served: {served} of 24"));
+    if node.has_ended() {
+        broken.push("the front node has ended".into());
+    }
+    verdict(&broken)
+}
