Review, case 6: three ways in which a length does not fit, and foreign bytes in the answer

Cause: a length that is too long, or an answer that stops short, takes in the first bytes of the next message on the connection, and the 200 is passed on before the error shows. Change: case 6 spoils answers in three ways; the stand-ins take the limits as settings.

--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -1,4 +1,4 @@
-//! Spoilt answers whose stated length is shorter than the description: what is the viewer told?
+//! Spoilt answers, whose length does not fit or which stop short: what is the viewer told?
 #[path = "../stand-ins-2/kit.rs"]
 mod kit;
 use kit::*;
@@ -6,26 +6,36 @@
 
 fn main() {
     begin(&std::env::args().nth(1).expect("a folder"));
-    let answered = AtomicU64::new(0);
-    let answered: &'static AtomicU64 = Box::leak(Box::new(answered));
+    let asked: &'static AtomicU64 = Box::leak(Box::new(AtomicU64::new(0)));
     let answer = move |server: &Server, set_up: &SetUp| {
         std::thread::sleep(ms(20));
         let body = description(&server.name, &set_up.tag);
-        if trouble() && answered.fetch_add(1, Ordering::SeqCst) % 5 == 3 {
-            note(format!("{}: answers {} with a length that does not fit (9 bytes too short)", server.name, set_up.tag));
-            return Reply::Bytes(ok_answer(&set_up.tag, &body, body.len() - 9));
+        let number = asked.fetch_add(1, Ordering::SeqCst) + 1;
+        let spoilt = |what: &str, bytes: Vec<u8>| {
+            note(format!("{}: the answer to {} is spoilt: {what}", server.name, set_up.tag));
+            Reply::Bytes(bytes)
+        };
+        match number {
+            _ if !trouble() => Reply::Ok,
+            8 | 18 => spoilt("its length is 9 bytes too short", ok_answer(&set_up.tag, &body, body.len() - 9)),
+            12 | 22 => spoilt("its length is 9 bytes too long", ok_answer(&set_up.tag, &body, body.len() + 9)),
+            16 | 26 => {
+                let mut bytes = ok_answer(&set_up.tag, &body, body.len());
+                bytes.truncate(bytes.len() - 9);
+                spoilt("it stops 9 bytes short", bytes)
+            }
+            _ => Reply::Ok,
         }
-        Reply::Ok
     };
     let servers: Vec<Server> = (1..=3).map(|n| Server::start(&format!("s-{n:08x}"), ms(3500), answer)).collect();
     let entries = servers.iter().enumerate().map(|(cell, server)| server.entry(cell as u16)).collect();
     let directory = Directory::start(entries, ms(2));
-    let mut node = start_node(&Settings { told_every_ms: 3500, drain_grace_ms: 1000 }, &directory);
+    let mut node = start_node(&Settings::new(3500, 1000), &directory);
     let mut viewer = Viewer::connect("viewer", node.address);
     viewer.echo();
     let mut broken = Vec::new();
     let mut served = 0;
-    for number in 1..=24u64 {
+    for number in 1..=28u64 {
         let id = tag(0x6000 + number);
         let (class, left) = if number % 2 == 0 { ("licensed-view", 4000) } else { ("preview", 5000) };
         viewer.start(&id, class, left, "");
@@ -43,7 +53,7 @@
         }
         std::thread::sleep(ms(250));
     }
-    note(format!("served: {served} of 24"));
+    note(format!("served: {served} of 28"));
     if node.has_ended() {
         broken.push("the front node has ended".into());
     }
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -15,7 +15,7 @@
     let servers: Vec<Server> = (1..=4).map(|n| Server::start(&format!("s-{n:08x}"), ms(4500), answer)).collect();
     let entries = servers.iter().enumerate().map(|(cell, server)| server.entry(cell as u16)).collect();
     let directory = Directory::start(entries, ms(2));
-    let mut node = start_node(&Settings { told_every_ms: 4500, drain_grace_ms: 1000 }, &directory);
+    let mut node = start_node(&Settings::new(4500, 1000), &directory);
     let mut viewer = Viewer::connect("viewer", node.address);
     viewer.echo();
     let lost = servers[0].clone();
--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -22,7 +22,7 @@
             playing.push((id, index));
         }
     }
-    let mut node = start_node(&Settings { told_every_ms: 3500, drain_grace_ms: 1000 }, &directory);
+    let mut node = start_node(&Settings::new(3500, 1000), &directory);
     let died_at = Instant::now();
     if trouble() {
         // One of five servers dies, and the directory tells that at its next answer.
--- a/review/stand-ins-2/kit.rs
+++ b/review/stand-ins-2/kit.rs
@@ -117,9 +117,15 @@
 pub struct Settings {
     pub told_every_ms: u64,
     pub drain_grace_ms: u64,
+    pub memory_mb: u64,
+    pub sockets: u64,
 }
 
 impl Settings {
+    pub fn new(told_every_ms: u64, drain_grace_ms: u64) -> Settings {
+        Settings { told_every_ms, drain_grace_ms, memory_mb: 192, sockets: 1024 }
+    }
+
     fn json(&self) -> String {
         format!(
             r#"{{"az":0,"azs":["east","west"],"client-habits":{{"marks-retry":true}},"counted-by":"request","discovery":"push",
@@ -167,9 +173,11 @@
         })
         .collect();
     let config = format!(
-        r#"{{"name":"n1","listen":"{address}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
+        r#"{{"name":"n1","listen":"{address}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},
 "nameserver":"{}","known":{{"seq":{serial},"results":[{{"seq":{serial},"fleet":{{"generation":1,"reset":false,"instances":[{}]}}}}]}},
 "settings":{}}}"#,
+        settings.memory_mb,
+        settings.sockets,
         directory.address,
         instances.join(","),
         settings.json()
