Review, case 10: releases that a spoilt connection took with it never reach the viewers

Cause: after a connection was spoilt or cut the node opens no new one while another is left, and servers repeat a release on the next new connection only.

--- a/review/stand-ins-2/kit.rs
+++ b/review/stand-ins-2/kit.rs
@@ -129,10 +129,10 @@
     fn json(&self) -> String {
         format!(
             r#"{{"az":0,"azs":["east","west"],"client-habits":{{"marks-retry":true}},"counted-by":"request","discovery":"push",
-"family-info":{{"cabinets":1,"cells":4,"class-top":[4,4],"fleet-kb":40000.0,"guard":0.0,"is-live":[false,false],"join":1.0,
-"kb-per-weight":10000.0,"level-kb":[200.0,350.0,600.0,1000.0,1700.0],"licence-cap":[0,0],"lowest-rung":[0,0],"places-by-kind":[60],
+"family-info":{{"cabinets":1,"cells":4,"class-top":[4,4],"fleet-kb":240000.0,"guard":0.0,"is-live":[false,false],"join":1.0,
+"kb-per-weight":60000.0,"level-kb":[200.0,350.0,600.0,1000.0,1700.0],"licence-cap":[0,0],"lowest-rung":[0,0],"places-by-kind":[200],
 "rate-factor":[1.0,1.0],"rung-worth":[0.3,0.5,0.7,0.85,1.0],"see":1100000000,"shortfall-cost":8.0,"switch-s":0.5,
-"told-every":{}000000,"uplink-kb":80000.0}},"goal":{{"whole":1.0}},"index":0,"kind-of-service":"streams","kinds":["std"],
+"told-every":{}000000,"uplink-kb":400000.0}},"goal":{{"whole":1.0}},"index":0,"kind-of-service":"streams","kinds":["std"],
 "limits":{{"attempts-cap":4,"cancel":true,"conn-idle":30000000000,"connect-timeout":250000000,"cpu-us-per-request":0.0,
 "cpu-us-per-s":400000,"max-open":1000000,"max-retry-after":1000000000,"may-tell":false,"multiplex":1048576,"probing":true,
 "retry-after":true,"second-copies":false}},"over-share-worth":1.0,"parties":[],"prices":{{"cross-zone":0.01,"moves":0.05}},
@@ -587,6 +587,11 @@
         false
     }
 
+    /// The number of open connections.
+    pub fn connections(&self) -> usize {
+        self.state.lock().expect("server").connections.len()
+    }
+
     /// Ends a session with a release, which is sent once more on the next connection.
     pub fn release(&self, tag: &str, cause: u16) {
         let id = self.state.lock().expect("server").sessions.remove(tag).unwrap_or(0);
