--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -4,7 +4,7 @@
 use kit::*;
 use std::time::{Duration, Instant};
 
-const OUTAGE: Duration = Duration::from_secs(4);
+const OUTAGE: Duration = Duration::from_millis(4500);
 
 fn main() {
     begin(&std::env::args().nth(1).expect("a folder"));
@@ -12,10 +12,10 @@
         std::thread::sleep(ms(20));
         Reply::Ok
     };
-    let servers: Vec<Server> = (1..=4).map(|n| Server::start(&format!("s-{n:08x}"), ms(4500), answer)).collect();
+    let servers: Vec<Server> = (1..=4).map(|n| Server::start(&format!("s-{n:08x}"), ms(4800), answer)).collect();
     let entries = servers.iter().enumerate().map(|(cell, server)| server.entry(cell as u16)).collect();
     let directory = Directory::start(entries, ms(2));
-    let mut node = start_node(&Settings::new(4500, 1000), &directory);
+    let mut node = start_node(&Settings::new(4800, 2000), &directory);
     let mut viewer = Viewer::connect("viewer", node.address);
     viewer.echo();
     let lost = servers[0].clone();
