Review: the cases end their front node also when they fail themselves

Cause: a panic of a stand-in would have left the front node running. Change: a panic ends the run with 2, and the node ends with the program that started it; case 8 waits until the node has handled the list.

--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -32,6 +32,7 @@
         while directory.first_sent(event).is_none() && died_at.elapsed() < ms(1500) {
             std::thread::sleep(ms(2));
         }
+        std::thread::sleep(ms(200));
     }
     // The first test, and the set-ups of the start as soon as it has been passed.
     let mut viewer = Viewer::connect("viewer", node.address);
--- a/review/stand-ins-2/kit.rs
+++ b/review/stand-ins-2/kit.rs
@@ -8,6 +8,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicI32, AtomicU64, Ordering};
@@ -24,6 +25,7 @@
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
     fn listen(descriptor: i32, backlog: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
     fn setsockopt(descriptor: i32, level: i32, option: i32, value: *const i32, length: u32) -> i32;
 }
 
@@ -54,6 +56,10 @@
     let file = File::create(format!("{folder}/record.txt")).expect("record.txt");
     let _ = RECORD.set(Record { file: Mutex::new(file), began: Instant::now() });
     note(format!("TROUBLE={}", u8::from(trouble())));
+    std::panic::set_hook(Box::new(|panic| {
+        eprintln!("{panic}");
+        finish(2)
+    }));
     spawn(|| {
         sleep(Duration::from_secs(110));
         note("watchdog: 110 s are over".into());
@@ -185,7 +191,16 @@
     let config_path = folder().join("config.json");
     std::fs::write(&config_path, config).expect("config");
     let log = File::create(folder().join("log")).expect("log");
-    let mut child = Command::new("/bin/sh")
+    let mut command = Command::new("/bin/sh");
+    // SAFETY: `prctl` is safe to call between fork and exec. It ends the node if this program ends first.
+    unsafe {
+        command.pre_exec(|| {
+            const PR_SET_PDEATHSIG: i32 = 1;
+            prctl(PR_SET_PDEATHSIG, KILL as u64);
+            Ok(())
+        });
+    }
+    let mut child = command
         .args(["-c", &run])
         .current_dir(&root)
         .env("NODE_NAME", "n1")
