--- a/crates/node-protocol/src/rtsp/mod.rs
+++ b/crates/node-protocol/src/rtsp/mod.rs
@@ -78,6 +78,18 @@
         matches!(&self.kind, Kind::Request(method, _) if method == "TEARDOWN")
     }
 
+    /// Whether the message is a response that accepts a set-up. Its body is the server's description of the session.
+    #[must_use]
+    pub fn is_set_up_acceptance(&self) -> bool {
+        self.kind == Kind::Response(status::OK) && self.cseq == Some(cseq::SET_UP)
+    }
+
+    /// Whether the body ends with a line break, as a description does that was received to its end.
+    #[must_use]
+    pub fn ends_with_line_break(&self) -> bool {
+        self.body.ends_with(b"\n")
+    }
+
     /// The cause of a release, from its `Reason` header; `None` if it is missing or malformed.
     #[must_use]
     pub fn cause(&self) -> Option<u16> {
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -4,6 +4,7 @@
 //! - `client_requests`, `client_notifications`: messages from and to viewers
 //! - `delivery`: detection of messages that the kernel accepted and that were not delivered
 //! - `server_messages`, `set_up_responses`: messages from servers
+//! - `held_responses`: responses that are held until it is clear that they were not cut off
 //! - `server_releases`: releases of sessions that are sent to servers
 //! - `attempt_dispatch`, `attempt_lifecycle`: an attempt from the policy's decision to its end
 //! - `server_links`: connections to servers
@@ -20,6 +21,7 @@
 mod core_driver;
 pub(crate) mod delivery;
 mod endpoint_list;
+mod held_responses;
 mod link;
 mod maintenance;
 mod server;
@@ -48,6 +50,7 @@
 use crankpaddle_time::nanoseconds;
 use delivery::RetainedMessages;
 use endpoint_list::IncompatibleServer;
+use held_responses::HeldResponses;
 use link::LinkRecord;
 use maintenance::Schedule;
 use may::sync::mpsc::Receiver;
@@ -98,6 +101,8 @@
     sent_to_viewers: RetainedMessages<ConnectionId, SentMessage>,
     /// Releases that a link accepted, retained in case they are not delivered.
     sent_to_servers: RetainedMessages<LinkId, ServerRelease>,
+    /// Responses to set-ups that may have been cut off.
+    held_responses: HeldResponses,
     last_player_id: u64,
     last_link_id: u64,
     /// The cause code sent with teardowns: the viewer's own while its request is handled, else [`cause::CANCELLED`].
@@ -165,6 +170,7 @@
             unsent_notifications: VecDeque::new(),
             sent_to_viewers: RetainedMessages::new(),
             sent_to_servers: RetainedMessages::new(),
+            held_responses: HeldResponses::default(),
             last_player_id: 0,
             last_link_id: 0,
             release_cause: cause::CANCELLED,
@@ -194,6 +200,7 @@
             self.drain_inbox(inbox);
             self.catch_up_after_stall(inbox);
             let now = clock::now();
+            self.release_due_responses(now);
             if schedule.maintenance.fire_if_due(now) {
                 self.run_maintenance(now);
             }
@@ -221,6 +228,7 @@
         };
         let wake_at = self
             .next_core_expiry()
+            .min(self.held_responses.next_due())
             .min(schedule.maintenance.due_at())
             .min(recheck_at);
         if wake_at <= now {
@@ -310,10 +318,8 @@
                 self.resend_undelivered(connection, delivery);
             }
             InboxMessage::ConnectCompleted(link, result) => self.connect_completed(link, result),
-            InboxMessage::FromServer(link, messages, _queued) => {
-                for message in &messages {
-                    self.handle_server_message(link, message);
-                }
+            InboxMessage::FromServer(link, messages, queued) => {
+                self.receive_from_server(link, messages, queued);
             }
             InboxMessage::LinkClosed(link, end, delivery) => self.link_closed(link, end, delivery),
             InboxMessage::EndpointList(list) => {
--- a/crates/node/src/event_loop/server_links.rs
+++ b/crates/node/src/event_loop/server_links.rs
@@ -272,6 +272,9 @@
     /// Handles the end of a link's reader. If this node had not closed the link before, releases may have to be sent again.
     pub(super) fn link_closed(&mut self, id: LinkId, end: LinkEnd, delivery: DeliveryStatus) {
         let is_ended_by_server = self.links.contains_key(&id);
+        if let LinkEnd::ByServer(_) = end {
+            self.release_held_response(id); // The connection ended behind it, so it was whole.
+        }
         self.link_ended(id, end);
         if is_ended_by_server {
             self.resend_releases(id, delivery);
@@ -293,6 +296,7 @@
         let Some(link) = self.links.remove(&id) else {
             return;
         };
+        self.held_responses.take(id); // Its attempt fails like all that are pending on the link.
         let server_id = link.server;
         let is_alive = |link: &LinkRecord| link.is_open() && link.is_responsive();
         let server_is_alive = end == LinkEnd::Malformed
--- a/crates/node/src/event_loop/server_messages.rs
+++ b/crates/node/src/event_loop/server_messages.rs
@@ -1,13 +1,40 @@
 //! Handling of messages from servers: responses to set-ups and health checks, session updates, and releases.
 use super::session::RemovalReason;
 use super::EventLoop;
-use crate::shared::LinkId;
+use crate::input_gate::QueuedInput;
+use crate::shared::{InboxMessage, LinkId};
 use crankpaddle_front::{AttemptId, AttemptOutcome, Input, LoadReport, ServerId, SessionUpdate};
 use crankpaddle_net::clock;
 use crankpaddle_node_protocol::rtsp::{self, cseq, status, Kind, ReportField};
 use crankpaddle_node_protocol::viewers::cause;
 
 impl EventLoop {
+    /// Handles messages that were read from a link, or holds a response that may have been cut off.
+    ///
+    /// Any message confirms the length of the response before it, so a held response is handled before it. It is queued again for
+    /// that time, because a release that follows a response changes how that is handled.
+    pub(super) fn receive_from_server(
+        &mut self,
+        link: LinkId,
+        messages: Vec<rtsp::Message>,
+        queued: Option<QueuedInput>,
+    ) {
+        if let Some(confirmed) = self.held_responses.take(link) {
+            self.message_queue
+                .push_front(InboxMessage::FromServer(link, messages, queued));
+            return self.handle_server_message(link, &confirmed);
+        }
+        for message in messages {
+            match self.hold_deadline(link, &message) {
+                Some(deadline) => {
+                    self.held_responses
+                        .hold(link, message, clock::now(), deadline);
+                }
+                None => self.handle_server_message(link, &message),
+            }
+        }
+    }
+
     pub(super) fn handle_server_message(&mut self, id: LinkId, message: &rtsp::Message) {
         let now = clock::now();
         let Some(link) = self.links.get_mut(&id) else {
--- a/crates/node/src/event_loop/set_up_responses.rs
+++ b/crates/node/src/event_loop/set_up_responses.rs
@@ -45,8 +45,8 @@
         if status != status::OK {
             return self.complete_set_up(attempt, failure_outcome(status), report);
         }
-        let Some(description) = message.text() else {
-            // The set-up ran, but its description is not text and can't be passed on to the viewer.
+        let Some(description) = message.text().filter(|text| !text.is_empty()) else {
+            // The set-up ran, but its description is missing or not text, and can't be passed on to the viewer.
             increment(&self.shared.drop_counters.broken_links);
             return self.link_ended(link, LinkEnd::Malformed);
         };
@@ -67,6 +67,47 @@
         self.set_up_accepted(attempt, link, server, now, report);
     }
 
+    /// When the attempt times out for which a response that may have been cut off is held; `None` if the response is not held.
+    ///
+    /// It is held if its last line has no end, or if bytes that the kernel has received behind it were not read yet. A message
+    /// that was read behind it confirms its length.
+    pub(super) fn hold_deadline(&self, link: LinkId, message: &rtsp::Message) -> Option<Time> {
+        if !message.is_set_up_acceptance() || self.has_queued_message(link) {
+            return None;
+        }
+        let outbox = self.links.get(&link)?.outbox()?;
+        let may_be_cut_off = !message.ends_with_line_break() || outbox.socket().has_unread();
+        if !may_be_cut_off {
+            return None;
+        }
+        let server = self.servers.get(&self.links.get(&link)?.server)?;
+        let attempt = server.attempts.get(&message.session?)?;
+        let attempt = self.attempts.get(attempt)?;
+        let is_awaited = attempt.state.is_awaiting_answer_on(link);
+        is_awaited.then_some(attempt.deadline)
+    }
+
+    /// Whether a message that was read from a link is queued.
+    fn has_queued_message(&self, link: LinkId) -> bool {
+        self.message_queue
+            .iter()
+            .any(|message| matches!(message, InboxMessage::FromServer(other, ..) if *other == link))
+    }
+
+    /// Handles the responses that were held for long enough.
+    pub(super) fn release_due_responses(&mut self, now: Time) {
+        while let Some((link, response)) = self.held_responses.take_due(now) {
+            self.handle_server_message(link, &response);
+        }
+    }
+
+    /// Handles the response that is held for a link, if there is one.
+    pub(super) fn release_held_response(&mut self, link: LinkId) {
+        if let Some(response) = self.held_responses.take(link) {
+            self.handle_server_message(link, &response);
+        }
+    }
+
     fn is_awaiting_answer_on(&self, attempt: AttemptId, link: LinkId) -> bool {
         self.attempts
             .get(&attempt)
--- a/crates/node/src/server_connector.rs
+++ b/crates/node/src/server_connector.rs
@@ -4,7 +4,7 @@
 use crate::input_gate::MESSAGE_OVERHEAD_BYTES;
 use crate::shared::{increment, report_aborted_reader, InboxMessage, LinkEnd, LinkId, Shared};
 use crankpaddle_net::{spawn_with_state, CloseReason, ReadEnd, Socket, Stack, WriteBuffer};
-use crankpaddle_node_protocol::rtsp::Decoder;
+use crankpaddle_node_protocol::rtsp::{Decoder, Message};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -127,6 +127,9 @@
     outbox.read_each::<READ_BYTES>(|bytes| {
         let decoded = decoder.feed(bytes, &mut messages);
         incomplete_bytes += bytes.len();
+        if decoded.is_err() {
+            remove_misframed_acceptance(&mut messages);
+        }
         if !messages.is_empty() {
             let complete = std::mem::take(&mut messages);
             let overhead_bytes = complete.len() * MESSAGE_OVERHEAD_BYTES;
@@ -140,3 +143,9 @@
         decoded.is_ok()
     })
 }
+
+/// Removes a response that accepts a set-up and has bytes behind it that are no message: its length was wrong, so its description
+/// is not the one that the server gave. The end of the connection then fails its attempt.
+fn remove_misframed_acceptance(messages: &mut Vec<Message>) {
+    messages.pop_if(|last| last.is_set_up_acceptance());
+}
--- a/crates/node/tests/faulty_servers.rs
+++ b/crates/node/tests/faulty_servers.rs
@@ -172,3 +172,107 @@
         "no set-up is sent to the failed machine, so none can have run"
     );
 }
+
+/// Guards against a response whose `Content-Length` is too short: the viewer was answered that the session is established, with a
+/// description that was cut off at the stated length.
+#[test]
+fn a_description_that_is_cut_off_by_its_length_is_never_passed_on() {
+    const DESCRIPTION: &str = "c=IN IP4 127.4.7.9\r\no=s-1\r\nm=video 31000 RTP/AVP 0 8 101\r\n";
+    for (missing, first_piece_short_by) in [
+        (1, 0),
+        (9, 0),
+        (30, 0),
+        (31, 0),
+        (9, 12),
+        (30, 40),
+        (30, 100),
+    ] {
+        let harness = Harness::start(2);
+        let (mut free, mut paid) = (harness.viewer(), harness.viewer());
+        let description =
+            format!("{missing} bytes, cut {first_piece_short_by} bytes before the end");
+        free.start(tag(1), FREE, 15_000);
+        let (first, connection, _) = harness.next_set_up();
+        let response = |session| short_response(session, DESCRIPTION, missing);
+        send_in_two_pieces(first, connection, &response(tag(1)), first_piece_short_by);
+        let (second, connection, message) = harness.next_set_up();
+        assert_ne!(first.name, second.name, "{description}");
+        assert_eq!(message.session, Some(tag(1)), "{description}");
+        second.send(connection, &ok_response(tag(1), DESCRIPTION));
+        assert_eq!(free.next_message()["blob"], DESCRIPTION, "{description}");
+        paid.start(tag(2), PAID, 15_000);
+        let (server, connection, _) = harness.next_set_up();
+        send_in_two_pieces(server, connection, &response(tag(2)), first_piece_short_by);
+        let failure = paid.next_message();
+        assert_eq!(failure["rc"], 41, "{description}: the set-up may have run");
+        let (_, release) = server.wait_for_request("TEARDOWN");
+        assert_eq!(release.session, Some(tag(2)), "nobody watches it");
+    }
+}
+
+/// Guards against a response whose `Content-Length` is too long: its description ended with the first bytes of the next message of
+/// the connection, which is about another session.
+#[test]
+fn a_description_with_bytes_of_the_next_message_is_never_passed_on() {
+    let harness = Harness::start(1);
+    let mut viewer = harness.viewer();
+    let (server, connection) = harness.establish(&mut viewer, tag(1), FREE);
+    viewer.start(tag(2), PAID, 15_000);
+    let (_, second, _) = harness.next_set_up();
+    assert_eq!(second, connection, "both sessions are on one connection");
+    let response = ok_response(tag(2), "one line\r\n");
+    let text = String::from_utf8(response).expect("text");
+    let too_long = text.replace("Content-Length: 10", "Content-Length: 19");
+    server.send(connection, too_long.as_bytes());
+    server.send(connection, &session_update(tag(1), "at_rung", 1.0));
+    assert_eq!(viewer.next_message()["rc"], 41);
+}
+
+/// Guards against a length of 0 with a description behind it: the viewer got an empty description.
+#[test]
+fn a_response_without_a_description_establishes_no_session() {
+    for behind in ["", "described\r\n"] {
+        let harness = Harness::start(1);
+        let mut viewer = harness.viewer();
+        viewer.start(tag(1), PAID, 15_000);
+        let (server, connection, _) = harness.next_set_up();
+        server.send(connection, &short_response(tag(1), behind, behind.len()));
+        assert_eq!(viewer.next_message()["rc"], 41, "{behind:?}");
+    }
+}
+
+/// Guards against a hold that never ends: a description may lack a line break at its end and be whole, whether its server goes on
+/// sending, ends the connection, or does neither.
+#[test]
+fn a_whole_description_without_a_line_break_is_passed_on() {
+    let harness = Harness::start(1);
+    let mut viewer = harness.viewer();
+    for (number, what_follows) in [(1, "nothing"), (2, "a message"), (3, "the end")] {
+        viewer.start(tag(number), PAID, 15_000);
+        let (server, connection, _) = harness.next_set_up();
+        server.send(connection, &ok_response(tag(number), "one line"));
+        match what_follows {
+            "a message" => server.send(connection, &session_update(tag(number), "at_rung", 1.0)),
+            "the end" => server.close(connection),
+            _ => {}
+        }
+        let answer = viewer.next_message();
+        assert_eq!(
+            answer["blob"], "one line",
+            "{what_follows} follows: {answer}"
+        );
+    }
+}
+
+/// A response whose stated length is short by `missing` bytes.
+fn short_response(session: crankpaddle_node_protocol::Tag, body: &str, missing: usize) -> Vec<u8> {
+    let length = body.len() - missing;
+    format!("RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: {session}\r\nContent-Length: {length}\r\n\r\n{body}").into_bytes()
+}
+
+/// Sends bytes in two pieces, the first of which lacks `short_by` bytes.
+fn send_in_two_pieces(server: &TestServer, connection: usize, bytes: &[u8], short_by: usize) {
+    let (first, second) = bytes.split_at(bytes.len() - short_by);
+    server.send(connection, first);
+    server.try_send(connection, second);
+}
