--- a/crates/node/src/event_loop/attempt_dispatch.rs
+++ b/crates/node/src/event_loop/attempt_dispatch.rs
@@ -4,6 +4,7 @@
 //! Attempts are dispatched after the core has decided on all messages that were received. Right before that, each attempt is
 //! checked: its viewer must still be waiting, as far as the kernel knows, and the core must still allow the attempt.
 use super::attempt::{AttemptRecord, AttemptState};
+use super::link::LinkPurpose;
 use super::wire_time::to_milliseconds;
 use super::EventLoop;
 use crate::shared::LinkId;
@@ -207,7 +208,7 @@
             .map_or(0, |server| server.links.len());
         let has_capacity = self.has_link_capacity() && links < MAX_LINKS_PER_SERVER;
         if has_capacity || links == 0 && self.close_idle_link() {
-            return self.connect(server);
+            return self.connect(server, LinkPurpose::Send);
         }
         None
     }
--- a/crates/node/src/event_loop/attempt_lifecycle.rs
+++ b/crates/node/src/event_loop/attempt_lifecycle.rs
@@ -41,6 +41,7 @@
                 server.attempts.remove(&attempt.session_id);
             }
             server.established -= usize::from(is_established);
+            server.unconfirmed.remove(id);
         }
         let link = attempt.state.link();
         if let Some(link) = link.and_then(|link| self.links.get_mut(&link)) {
--- a/crates/node/src/event_loop/link.rs
+++ b/crates/node/src/event_loop/link.rs
@@ -8,6 +8,7 @@
 pub(super) struct LinkRecord {
     pub(super) server: ServerId,
     pub(super) state: LinkState,
+    pub(super) purpose: LinkPurpose,
     /// Attempts that wait for it to connect, or that were sent on it and have no answer.
     pub(super) pending: Vec<AttemptId>,
     /// When something was last received on it. Until then the time when it was connected, or when the connect was started.
@@ -16,6 +17,17 @@
     pub(super) connect_started_at: Time,
 }
 
+/// Why a link was opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LinkPurpose {
+    /// To send a set-up or a deferred message.
+    Send,
+    /// To check whether a silent server is alive.
+    CheckLiveness,
+    /// To receive releases that may have been lost with another link.
+    ReceiveReleases,
+}
+
 /// How far a link has come.
 pub(super) enum LinkState {
     /// The connect is in progress.
@@ -29,10 +41,11 @@
 }
 
 impl LinkRecord {
-    pub(super) fn connecting(server: ServerId, now: Time) -> LinkRecord {
+    pub(super) fn connecting(server: ServerId, purpose: LinkPurpose, now: Time) -> LinkRecord {
         LinkRecord {
             server,
             state: LinkState::Connecting,
+            purpose,
             pending: Vec::new(),
             last_received: now,
             connect_started_at: now,
--- a/crates/node/src/event_loop/maintenance.rs
+++ b/crates/node/src/event_loop/maintenance.rs
@@ -109,6 +109,8 @@
         } else if !server.is_listed && server.health.should_connect(now, true) {
             // It is silent, and a connect can't check it, as its address may be another server's by now.
             self.server_lost(id);
+        } else if !server.is_listed && server.unconfirmed.is_refresh_due(now) {
+            self.end_unconfirmed(id);
         }
     }
 
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -8,6 +8,7 @@
 //! - `server_releases`: releases of sessions that are sent to servers
 //! - `attempt_dispatch`, `attempt_lifecycle`: an attempt from the policy's decision to its end
 //! - `server_links`: connections to servers
+//! - `unconfirmed_sessions`: sessions whose release may have been lost with a connection
 //! - `server_liveness`: detection of lost servers, which ends the sessions there
 //! - `endpoint_list`: the directory's list of servers
 //! - `core_driver`: inputs into the core and outputs from it
@@ -32,6 +33,7 @@
 mod session;
 mod set_up_responses;
 mod shutdown;
+mod unconfirmed_sessions;
 mod wire_time;
 
 use crate::shared::{InboxMessage, LinkId, Shared};
--- a/crates/node/src/event_loop/server.rs
+++ b/crates/node/src/event_loop/server.rs
@@ -1,5 +1,6 @@
 //! The event loop's record of a server.
 use super::server_releases::ServerRelease;
+use super::unconfirmed_sessions::UnconfirmedSessions;
 use crate::health::ServerHealth;
 use crate::shared::LinkId;
 use crankpaddle_front::{AttemptId, Time};
@@ -21,6 +22,8 @@
     pub(super) established: usize,
     /// Session ids of abandoned set-ups. If the server accepts one before the given time, its session is released.
     pub(super) abandoned: HashMap<Tag, Time>,
+    /// Sessions whose release may have been lost with a link.
+    pub(super) unconfirmed: UnconfirmedSessions,
     /// Messages that no link accepted, in the order in which they are to be sent.
     pub(super) deferred: VecDeque<DeferredMessage>,
 }
@@ -58,6 +61,7 @@
             attempts: HashMap::new(),
             established: 0,
             abandoned: HashMap::new(),
+            unconfirmed: UnconfirmedSessions::default(),
             deferred: VecDeque::new(),
         }
     }
@@ -75,6 +79,6 @@
 
     /// Number of entries in its tables, for the `entries` count in the log.
     pub(super) fn entry_count(&self) -> usize {
-        self.attempts.len() + self.abandoned.len() + self.deferred.len()
+        self.attempts.len() + self.abandoned.len() + self.unconfirmed.len() + self.deferred.len()
     }
 }
--- a/crates/node/src/event_loop/server_links.rs
+++ b/crates/node/src/event_loop/server_links.rs
@@ -1,16 +1,19 @@
 //! Links to servers: finding, opening, writing and closing them, and ending the attempts on a link that has ended.
+use super::attempt::AttemptState;
 use super::delivery::DeliveryStatus;
-use super::link::LinkRecord;
+use super::link::{LinkPurpose, LinkRecord};
 use super::server::DeferredMessage;
 use super::server_releases::ServerRelease;
+use super::unconfirmed_sessions::ConnectionEnd;
 use super::{EventLoop, UnsentMessage, RELEASE_RETRY_PERIOD};
 use crate::health::ConnectFailure;
 use crate::server_connector;
 use crate::shared::{LinkEnd, LinkId};
 use crankpaddle_front::{AttemptId, AttemptOutcome, LoadReport, ServerId, Time};
-use crankpaddle_net::{clock, CloseReason, WriteBuffer};
+use crankpaddle_net::{clock, CloseReason, ReadEnd, WriteBuffer};
 use crankpaddle_node_protocol::viewers::cause;
 use std::sync::Arc;
+use std::time::Duration;
 
 impl EventLoop {
     /// The most recently used link of a server for which `predicate` holds.
@@ -79,7 +82,7 @@
     }
 
     /// Starts a connect to a server; `None` if the server is not listed.
-    pub(super) fn connect(&mut self, id: ServerId) -> Option<LinkId> {
+    pub(super) fn connect(&mut self, id: ServerId, purpose: LinkPurpose) -> Option<LinkId> {
         let server = self.servers.get_mut(&id)?;
         if !server.is_listed {
             return None;
@@ -88,7 +91,7 @@
         let link = LinkId(self.last_link_id);
         server.links.insert(0, link);
         self.links
-            .insert(link, LinkRecord::connecting(id, clock::now()));
+            .insert(link, LinkRecord::connecting(id, purpose, clock::now()));
         server_connector::connect(&self.shared, link, server.address);
         Some(link)
     }
@@ -96,22 +99,36 @@
     /// Closes the idle link that has received nothing for the longest time, so that another can be opened; false if there is
     /// none. A server with established sessions keeps its last link.
     pub(super) fn close_idle_link(&mut self) -> bool {
-        let idle_link = |id: &LinkId| {
-            let link = self.links.get(id)?;
-            link.is_idle().then_some((link.last_received, *id))
-        };
-        let oldest = self
+        let expendable = self
             .servers
             .values()
             .filter(|server| server.links.len() > 1 || server.established == 0)
-            .flat_map(|server| &server.links)
-            .filter_map(idle_link)
-            .min();
-        let Some((_, id)) = oldest else {
-            return false;
+            .flat_map(|server| &server.links);
+        let oldest = self.oldest_idle_link(expendable);
+        self.close_for_descriptor(oldest)
+    }
+
+    /// Closes the idle link of a server that has received nothing for the longest time, so that another can be opened to it; false
+    /// if there is none.
+    pub(super) fn close_idle_link_of(&mut self, server: ServerId) -> bool {
+        let links = self.servers.get(&server).map(|server| &server.links);
+        let oldest = self.oldest_idle_link(links.into_iter().flatten());
+        self.close_for_descriptor(oldest)
+    }
+
+    fn oldest_idle_link<'a>(&self, links: impl Iterator<Item = &'a LinkId>) -> Option<LinkId> {
+        let idle_link = |id: &LinkId| {
+            let link = self.links.get(id)?;
+            link.is_idle().then_some((link.last_received, *id))
         };
-        self.close_link(id, CloseReason::DescriptorNeeded);
-        true
+        links.filter_map(idle_link).min().map(|(_, id)| id)
+    }
+
+    fn close_for_descriptor(&mut self, link: Option<LinkId>) -> bool {
+        if let Some(link) = link {
+            self.close_link(link, CloseReason::DescriptorNeeded);
+        }
+        link.is_some()
     }
 
     pub(super) fn connect_completed(
@@ -127,7 +144,7 @@
             }
             return;
         };
-        let server_id = link.server;
+        let (server_id, purpose) = (link.server, link.purpose);
         let outcome = result.as_ref().map(|_| ()).map_err(|failure| *failure);
         tracing::debug!(
             link_id = id.0,
@@ -135,6 +152,18 @@
             ?outcome,
             "connect completed"
         );
+        let has_responsive_link = self
+            .find_link(server_id, LinkRecord::is_responsive)
+            .is_some();
+        let outcome = match outcome {
+            // A server that is not silent, with another link, may only be slow to accept a further connection.
+            Err(ConnectFailure::NoResponse)
+                if purpose == LinkPurpose::ReceiveReleases && has_responsive_link =>
+            {
+                Err(ConnectFailure::Local)
+            }
+            other => other,
+        };
         let is_lost = self
             .servers
             .get_mut(&server_id)
@@ -169,8 +198,15 @@
         };
         let server = link.server;
         link.set_connected(outbox, now);
-        if link.pending.is_empty() {
-            self.close_older_links(id, server);
+        let (purpose, connect_started_at) = (link.purpose, link.connect_started_at);
+        let is_unused = link.pending.is_empty();
+        if let Some(server) = self.servers.get_mut(&server) {
+            server.unconfirmed.connection_opened(connect_started_at);
+        }
+        match purpose {
+            LinkPurpose::CheckLiveness if is_unused => self.close_older_links(id, server),
+            LinkPurpose::ReceiveReleases => self.close_unneeded_links(id, server),
+            LinkPurpose::CheckLiveness | LinkPurpose::Send => {}
         }
         self.requeue_pending(id);
         let deferred = self
@@ -207,6 +243,25 @@
         }
     }
 
+    /// Closes the links that were opened earlier to receive releases and have not been used for a set-up, so that repeated
+    /// connects do not add up.
+    fn close_unneeded_links(&mut self, newest: LinkId, server: ServerId) {
+        let unneeded: Vec<LinkId> = self
+            .links
+            .iter()
+            .filter(|(id, link)| {
+                **id != newest
+                    && link.server == server
+                    && link.purpose == LinkPurpose::ReceiveReleases
+                    && link.is_idle()
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for link in unneeded {
+            self.close_link(link, CloseReason::NotNeeded);
+        }
+    }
+
     /// Queues the attempts that wait for a link to connect for dispatch, on this link or on another.
     fn requeue_pending(&mut self, id: LinkId) {
         let Some(link) = self.links.get_mut(&id) else {
@@ -323,6 +378,9 @@
             return;
         };
         server.links.retain(|other| *other != id);
+        if let Some(end) = self.end_that_loses_messages(&link, end) {
+            self.mark_unconfirmed(id, server_id, end);
+        }
         for attempt in link.pending {
             self.fail_pending(attempt, server_id, outcome);
         }
@@ -345,4 +403,40 @@
         let release = ServerRelease::new(server, session_id, cause::FAILED);
         self.release_at_server(None, release);
     }
+
+    /// How a link has ended on which the server may have sent messages that were lost; `None` if it can't have sent any.
+    fn end_that_loses_messages(&self, link: &LinkRecord, end: LinkEnd) -> Option<ConnectionEnd> {
+        let idle_timeout = Duration::from_nanos(self.shared.config.fleet.idle_timeout);
+        let idle_time = clock::now().duration_since(link.last_received);
+        let is_idle_close = !idle_timeout.is_zero() && idle_time >= idle_timeout;
+        match end {
+            LinkEnd::ConnectFailed(_) => None,
+            LinkEnd::ByNode(_) if link.is_connecting() => None,
+            LinkEnd::ByNode(_) => Some(ConnectionEnd::Announced),
+            // Servers close idle connections after this time. Everything that they sent before was received.
+            LinkEnd::ByServer(ReadEnd::Closed) if is_idle_close => None,
+            LinkEnd::ByServer(_) | LinkEnd::Malformed => Some(ConnectionEnd::Unannounced),
+        }
+    }
+
+    /// Marks the sessions whose releases the server may have sent on a link that has ended: those that were set up on it, and
+    /// those whose own link has ended before.
+    fn mark_unconfirmed(&mut self, ended: LinkId, server: ServerId, end: ConnectionEnd) {
+        let Some(server) = self.servers.get_mut(&server) else {
+            return;
+        };
+        let now = clock::now();
+        for id in server.attempts.values() {
+            let Some(AttemptState::Established { link, .. }) =
+                self.attempts.get(id).map(|attempt| attempt.state)
+            else {
+                continue;
+            };
+            let has_own_link =
+                link.is_some_and(|link| link != ended && self.links.contains_key(&link));
+            if !has_own_link {
+                server.unconfirmed.add(*id, end, now);
+            }
+        }
+    }
 }
--- a/crates/node/src/event_loop/server_liveness.rs
+++ b/crates/node/src/event_loop/server_liveness.rs
@@ -1,10 +1,14 @@
 //! Checks whether servers with sessions are alive, and ends the sessions at servers that are not.
+use super::link::LinkPurpose;
+use super::server_releases::ServerRelease;
 use super::{EventLoop, LinkRecord};
 use crankpaddle_front::{AttemptId, AttemptOutcome, Input, LoadReport, ServerId, Time};
 use crankpaddle_net::CloseReason;
+use crankpaddle_node_protocol::viewers::cause;
 
 impl EventLoop {
-    /// Connects to a server with sessions or deferred messages if it has no link or is silent.
+    /// Connects to a server with sessions or deferred messages if it has no link or is silent, or if a release may have been lost
+    /// with a link.
     ///
     /// A server that is not listed is not connected to. It is lost when its last link has ended.
     pub(super) fn ensure_monitored(&mut self, id: ServerId, now: Time) {
@@ -20,10 +24,45 @@
             return;
         }
         let is_needed = server.established > 0 || !server.deferred.is_empty();
-        let should_connect =
-            is_needed && !is_connecting && server.health.should_connect(now, has_link);
-        if should_connect && (self.has_link_capacity() || self.close_idle_link()) {
-            self.connect(id);
+        let purpose = if server.health.should_connect(now, has_link) {
+            LinkPurpose::CheckLiveness
+        } else if server.unconfirmed.is_refresh_due(now) && server.health.may_connect(now) {
+            LinkPurpose::ReceiveReleases
+        } else {
+            return;
+        };
+        let should_connect = is_needed && !is_connecting;
+        if should_connect && self.has_room_for_link(id, purpose) {
+            self.connect(id, purpose);
+        }
+    }
+
+    /// Whether another link may be opened to a server, if needed after an idle one is closed. Only a liveness check closes the link
+    /// of another server: to receive releases again, that server would need a new one too.
+    fn has_room_for_link(&mut self, id: ServerId, purpose: LinkPurpose) -> bool {
+        self.has_link_capacity()
+            || match purpose {
+                LinkPurpose::CheckLiveness => self.close_idle_link(),
+                LinkPurpose::ReceiveReleases => self.close_idle_link_of(id),
+                LinkPurpose::Send => false,
+            }
+    }
+
+    /// Ends the sessions at an unlisted server whose release may have been lost. No connection can be opened on which the server
+    /// would repeat it.
+    pub(super) fn end_unconfirmed(&mut self, id: ServerId) {
+        let Some(server) = self.servers.get_mut(&id) else {
+            return;
+        };
+        let lost = server.unconfirmed.take_unannounced();
+        let releases: Vec<ServerRelease> = lost
+            .iter()
+            .filter_map(|attempt| self.attempts.get(attempt))
+            .map(|attempt| ServerRelease::new(id, attempt.session_id, cause::FAILED))
+            .collect();
+        self.end_sessions(id, lost);
+        for release in releases {
+            self.release_at_server(None, release);
         }
     }
 
--- a/crates/node/src/event_loop/server_messages.rs
+++ b/crates/node/src/event_loop/server_messages.rs
@@ -49,6 +49,9 @@
         let attempt = message
             .session
             .and_then(|session_id| server.attempts.get(&session_id).copied());
+        if let Some(attempt) = attempt {
+            server.unconfirmed.remove(attempt);
+        }
         tracing::trace!(link_id = id.0, server_id = server_id.0, session_id = message.session.map(display),
             kind = ?message.kind, cseq = message.cseq, headers = ?message.headers, known = attempt.is_some(),
             "server message received");
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -74,7 +74,12 @@
     /// connection already.
     pub(crate) fn should_connect(&self, now: Time, has_link: bool) -> bool {
         let is_silent = now.duration_since(self.last_received) > self.max_silence;
-        now >= self.backoff_until && (!has_link || is_silent)
+        self.may_connect(now) && (!has_link || is_silent)
+    }
+
+    /// Whether a connect may be made at `now`, after the last one that was refused or could not be tried.
+    pub(crate) fn may_connect(&self, now: Time) -> bool {
+        now >= self.backoff_until
     }
 
     /// Records the outcome of a connect; true if the sessions at the server are lost.
--- a/crates/node/tests/support/fault_proxy.rs
+++ b/crates/node/tests/support/fault_proxy.rs
@@ -74,6 +74,15 @@
         self.state.is_withholding.store(false, Ordering::Release);
     }
 
+    /// Ends the connection with this number, counted from 0 in the order in which they were opened, towards the side that connects.
+    /// The other side is not told; what it sends on the connection is lost.
+    pub(crate) fn end_towards_client(&self, number: usize) {
+        let connections = self.state.connections.lock().expect("unpoisoned");
+        let connection = &connections[number];
+        connection.is_reset.store(true, Ordering::Release);
+        let _ = connection.client.shutdown(Shutdown::Both); // It may have ended already.
+    }
+
     /// Resets all connections, as a machine does that fails and restarts. Bytes that were withheld on them are lost.
     pub(crate) fn reset_connections(&self) {
         self.state.withheld_checks.store(0, Ordering::Release);
--- a/crates/node/tests/undelivered.rs
+++ b/crates/node/tests/undelivered.rs
@@ -2,6 +2,7 @@
 mod support;
 use crankpaddle::Event;
 use crankpaddle_node_protocol::rtsp;
+use std::time::Instant;
 use support::*;
 
 /// A node with two sessions on separate connections. A test closes the first connection; the second stays open.
@@ -163,3 +164,85 @@
 fn a_release_is_sent_again_as_often_as_its_connection_is_lost() {
     release_through_resets(3);
 }
+
+/// A node with one server behind a proxy, and two sessions, each on a connection of its own to the server.
+struct ProxiedSessions {
+    harness: Harness,
+    proxy: FaultProxy,
+    viewer: TestViewer,
+    /// The connection on which each session was set up, by the number of its id less one.
+    connections: [usize; 2],
+}
+
+/// Servers send updates each minute here, so that none is taken for silent during the test.
+fn two_sessions_behind_a_proxy() -> ProxiedSessions {
+    const UPDATE_INTERVAL_NS: u64 = 60_000_000_000;
+    let harness = Harness::start_with(1, |c| c["settings"] = fleet_settings(UPDATE_INTERVAL_NS));
+    let server = &harness.servers[0];
+    let proxy = FaultProxy::start(server.address, Withheld::Responses);
+    harness
+        .directory
+        .update(|state| (state.serial, state.servers[0].address) = (2, proxy.address));
+    harness.directory.wait_for_queries(3);
+    let mut viewer = harness.viewer();
+    let connections = [1, 2].map(|number| {
+        viewer.start(tag(number), FREE, 15_000);
+        server.wait_for_request("SETUP").0
+    });
+    assert_ne!(connections[0], connections[1]);
+    for (number, connection) in [1, 2].into_iter().zip(connections) {
+        server.send(connection, &ok_response(tag(number), "described\r\n"));
+        assert_eq!(viewer.next_message()["verb"], "STARTED");
+    }
+    server.take_events();
+    ProxiedSessions {
+        harness,
+        proxy,
+        viewer,
+        connections,
+    }
+}
+
+/// Sends a release on a connection that has ended on its way, and again on the next connection that is opened, as a server does.
+/// Checks that the viewer is told in the time that the protocol allows.
+fn assert_lost_release_arrives(sessions: &mut ProxiedSessions, number: u64) {
+    let server = &sessions.harness.servers[0];
+    let release = rtsp::release(tag(number), 16);
+    server.take_events();
+    let sent_at = Instant::now();
+    server.send(sessions.connections[number as usize - 1], &release);
+    let next = server.wait_for_connection();
+    server.send(next, &release);
+    assert_released(&mut sessions.viewer, number);
+    assert!(sent_at.elapsed().as_secs() < 8, "{:?}", sent_at.elapsed());
+}
+
+/// Guards against a release that is lost with an idle connection: its server had not noticed that the connection was reset, and
+/// repeats the release on the next connection only, but the node kept to the connections that it had.
+#[test]
+fn a_release_on_a_connection_that_its_server_takes_for_open_reaches_the_viewer() {
+    let _worker = lock_worker();
+    let mut sessions = two_sessions_behind_a_proxy();
+    sessions.proxy.end_towards_client(sessions.connections[0]);
+    wait("the node notices the end of the link", || {
+        sessions.harness.node.counts().links == 1
+    });
+    assert_lost_release_arrives(&mut sessions, 1);
+    let server = &sessions.harness.servers[0];
+    server.send(sessions.connections[1], &rtsp::release(tag(2), 16));
+    assert_released(&mut sessions.viewer, 2);
+}
+
+/// Guards against the same fault where all connections end at once: the node connects again before the server sends its release, so
+/// that this connection is not the next one.
+#[test]
+fn a_release_that_is_lost_after_the_node_has_connected_again_reaches_the_viewer() {
+    let _worker = lock_worker();
+    let mut sessions = two_sessions_behind_a_proxy();
+    for connection in sessions.connections {
+        sessions.proxy.end_towards_client(connection);
+    }
+    sessions.harness.servers[0].wait_for_connection();
+    assert_lost_release_arrives(&mut sessions, 1);
+    assert_lost_release_arrives(&mut sessions, 2);
+}
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -136,6 +136,8 @@
     pub(crate) max_attempts: u32,
     #[serde(default = "quarter_second")]
     pub(crate) connect_timeout: u64,
+    #[serde(default, rename = "conn-idle")]
+    pub(crate) idle_timeout: u64,
     #[serde(default, rename = "cancel")]
     pub(crate) cancel_allowed: bool,
     #[serde(default)]
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -29,6 +29,8 @@
     pub kinds: Vec<String>,
     /// Timeout of a connection attempt, nanoseconds.
     pub connect_timeout: u64,
+    /// Time after which idle connections are closed, nanoseconds; 0 if the document states none.
+    pub idle_timeout: u64,
 }
 
 /// Parses the JSON document of the settings. Unknown keys are ignored.
@@ -59,6 +61,7 @@
         zones: document.zones.clone(),
         kinds: document.kinds.clone(),
         connect_timeout: document.limits.connect_timeout,
+        idle_timeout: document.limits.idle_timeout,
         settings: policy_settings(document),
     })
 }
