--- a/crates/node/src/event_loop/attempt_lifecycle.rs
+++ b/crates/node/src/event_loop/attempt_lifecycle.rs
@@ -1,10 +1,10 @@
-//! Completion and abandonment of attempts, and adoption of sessions.
+//! Completion and abandonment of attempts.
 use super::attempt::{AttemptRecord, AttemptState};
 use super::server_releases::ServerRelease;
 use super::EventLoop;
 use crate::shared::LinkId;
 use crankpaddle_front::{
-    AttemptId, AttemptOutcome, Input, LoadReport, PlayerId, ServerId, SetUpResult, Time,
+    AttemptId, AttemptOutcome, Input, LoadReport, ServerId, SetUpResult, Time,
 };
 use crankpaddle_net::{clock, CloseReason};
 use crankpaddle_node_protocol::rtsp;
@@ -110,31 +110,4 @@
             link.mark_unresponsive(now);
         }
     }
-
-    /// Adds the attempt of an adopted session, which plays at a server already, to the tables.
-    pub(super) fn adopt(&mut self, player: PlayerId, attempt: AttemptId, server: ServerId) {
-        let now = clock::now();
-        let Some(session_id) = self.sessions.get(&player).map(|session| session.session_id) else {
-            return;
-        };
-        let Some(server_record) = self.servers.get_mut(&server) else {
-            return;
-        };
-        server_record.attempts.insert(session_id, attempt);
-        server_record.established += 1;
-        server_record.health.session_established(now);
-        let record = AttemptRecord {
-            player,
-            session_id,
-            server,
-            rung: 0,
-            deadline: now,
-            connect_attempts: 0,
-            state: AttemptState::Established {
-                link: None,
-                sent_at: now,
-            },
-        };
-        self.attempts.insert(attempt, record);
-    }
 }
--- a/crates/node/src/event_loop/client_notifications.rs
+++ b/crates/node/src/event_loop/client_notifications.rs
@@ -90,7 +90,7 @@
     }
 
     /// Sends a notification on the session's own connection or, if that is closed, on another.
-    fn send_notification(&mut self, connection: ConnectionId, bytes: Vec<u8>) {
+    pub(super) fn send_notification(&mut self, connection: ConnectionId, bytes: Vec<u8>) {
         let expires_at = clock::now() + RELEASE_RETRY_PERIOD;
         if let Some(connection) = self.connections.get(&connection) {
             connection.extend_output_deadline(expires_at);
--- a/crates/node/src/event_loop/client_requests.rs
+++ b/crates/node/src/event_loop/client_requests.rs
@@ -11,9 +11,9 @@
 use std::time::Duration;
 
 /// A valid set-up request, in the protocol's form and in the core's.
-struct ValidSetUp {
-    params: SetUpParams,
-    open: OpenRequest,
+pub(super) struct ValidSetUp {
+    pub(super) params: SetUpParams,
+    pub(super) open: OpenRequest,
 }
 
 impl EventLoop {
@@ -52,10 +52,9 @@
             Ok(request) => request,
             Err(error) => return self.reject_invalid(connection, set_up, error),
         };
-        if request.params.current_server.is_some() {
-            self.adopt_session(set_up.tag, request);
-        } else {
-            self.open_session(connection, set_up, request, received_at);
+        match request.params.current_server.clone() {
+            Some(server) => self.adopt_session(connection, set_up.tag, &server, request),
+            None => self.open_session(connection, set_up, request, received_at),
         }
     }
 
@@ -97,30 +96,6 @@
         );
     }
 
-    /// Adopts a session that plays already, if the endpoint list in force contains its server.
-    fn adopt_session(&mut self, session_id: Tag, request: ValidSetUp) {
-        let ValidSetUp { params, open } = request;
-        let Some(server) = params
-            .current_server
-            .as_deref()
-            .and_then(|name| self.listed_server_id(name))
-        else {
-            return;
-        };
-        let player = self.insert_session(SessionRecord {
-            session_id,
-            connection: ConnectionId::default(),
-            class: open.class,
-            title: params.title_text,
-            state: SessionState::Established,
-        });
-        self.notify_core(Input::AdoptSession {
-            player,
-            open,
-            server,
-        });
-    }
-
     fn open_session(
         &mut self,
         connection: ConnectionId,
@@ -163,7 +138,7 @@
     }
 
     /// Adds a session to the tables and returns the id by which the core knows it.
-    fn insert_session(&mut self, session: SessionRecord) -> PlayerId {
+    pub(super) fn insert_session(&mut self, session: SessionRecord) -> PlayerId {
         self.last_player_id += 1;
         let player = PlayerId(self.last_player_id);
         self.players.insert(session.session_id, player);
--- a/crates/node/src/event_loop/endpoint_list.rs
+++ b/crates/node/src/event_loop/endpoint_list.rs
@@ -6,7 +6,7 @@
 use crankpaddle_front::{Endpoint, EndpointListKind, Input, Lifecycle, ServerId, Time};
 use crankpaddle_net::clock;
 use crankpaddle_node_protocol::directory::{ServerEntry, ServerList, ServerState};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// A server whose zone, kind or cell the settings do not name.
@@ -56,6 +56,7 @@
         }
         self.endpoints = listed;
         self.notify_of_changes(kind, changes);
+        self.retry_adoptions(now);
     }
 
     fn removed_endpoint(&self, id: ServerId, entry: &ServerEntry) -> Option<Endpoint> {
@@ -80,11 +81,17 @@
         }
     }
 
-    /// The id of the server with this name, if the endpoint list in force contains it.
-    pub(super) fn listed_server_id(&self, name: &str) -> Option<ServerId> {
-        let id = server_id_from_name(name);
-        let entry = self.endpoints.get(&id)?;
-        (entry.name == name).then_some(id)
+    /// When the server with this name was started, if the endpoint list in force contains it.
+    pub(super) fn listed_server_start(&self, name: &str) -> Option<Time> {
+        let entry = self.endpoints.get(&server_id_from_name(name))?;
+        (entry.name == name).then(|| started_at(entry))
+    }
+
+    /// Whether the last list received has a server with this name that does not fit the settings.
+    pub(super) fn is_incompatible(&self, name: &str) -> bool {
+        self.incompatible_servers
+            .iter()
+            .any(|server| server.name == name)
     }
 
     fn partition_list(&self, list: ServerList) -> PartitionedList {
@@ -235,6 +242,14 @@
     Time::ZERO + from_milliseconds(entry.started_ms)
 }
 
+/// The ids of all servers in a list.
+pub(super) fn server_ids(list: &ServerList) -> BTreeSet<ServerId> {
+    list.entries
+        .iter()
+        .map(|entry| server_id_from_name(&entry.name))
+        .collect()
+}
+
 /// Offset basis of the 32-bit FNV-1a hash.
 const FNV_OFFSET_BASIS: u32 = 0x811c_9dc5;
 /// Prime of the 32-bit FNV-1a hash.
@@ -242,7 +257,7 @@
 
 /// The id that the core uses for a server: the 8 hex digits after the last dash of its name. Any other name is hashed, so that
 /// all fronts use the same id.
-fn server_id_from_name(name: &str) -> ServerId {
+pub(super) fn server_id_from_name(name: &str) -> ServerId {
     let digits = name.rsplit('-').next().filter(|digits| digits.len() == 8);
     let number = digits.and_then(|digits| u32::from_str_radix(digits, 16).ok());
     ServerId(number.unwrap_or_else(|| fnv1a(name)))
--- a/crates/node/src/event_loop/maintenance.rs
+++ b/crates/node/src/event_loop/maintenance.rs
@@ -92,6 +92,7 @@
         self.sent_to_viewers.remove_expired(now);
         self.sent_to_servers.remove_expired(now);
         self.retry_notifications(now);
+        self.retry_adoptions(now);
         self.publish_entry_count();
     }
 
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -6,6 +6,7 @@
 //! - `server_messages`, `set_up_responses`: messages from servers
 //! - `held_responses`: responses that are held until it is clear that they were not cut off
 //! - `server_releases`: releases of sessions that are sent to servers
+//! - `adoption`: sessions that were under way when the node started
 //! - `attempt_dispatch`, `attempt_lifecycle`: an attempt from the policy's decision to its end
 //! - `server_links`: connections to servers
 //! - `unconfirmed_sessions`: sessions whose release may have been lost with a connection
@@ -14,6 +15,7 @@
 //! - `core_driver`: inputs into the core and outputs from it
 //! - `maintenance`, `shutdown`: periodic work, and graceful shutdown
 //! - `wire_time`: conversion of times on the wire
+mod adoption;
 mod attempt;
 mod attempt_dispatch;
 mod attempt_lifecycle;
@@ -38,6 +40,7 @@
 
 use crate::shared::{InboxMessage, LinkId, Shared};
 use crate::viewer_connection::{ConnectionId, ViewerConnection};
+use adoption::Adoptions;
 use attempt::AttemptRecord;
 use attempt_dispatch::{QueuedAttempt, RECHECK_INTERVAL};
 use client_notifications::SentMessage;
@@ -51,7 +54,7 @@
 use crankpaddle_node_protocol::Tag;
 use crankpaddle_time::nanoseconds;
 use delivery::RetainedMessages;
-use endpoint_list::IncompatibleServer;
+use endpoint_list::{server_ids, IncompatibleServer};
 use held_responses::HeldResponses;
 use link::LinkRecord;
 use maintenance::Schedule;
@@ -103,6 +106,8 @@
     sent_to_viewers: RetainedMessages<ConnectionId, SentMessage>,
     /// Releases that a link accepted, retained in case they are not delivered.
     sent_to_servers: RetainedMessages<LinkId, ServerRelease>,
+    /// What decides on sessions that are handed over to this node.
+    adoptions: Adoptions,
     /// Responses to set-ups that may have been cut off.
     held_responses: HeldResponses,
     last_player_id: u64,
@@ -157,6 +162,11 @@
             core.set_event_observer(observer);
         }
         let initial_list = config.initial_list.clone();
+        let adoptions = Adoptions::new(
+            clock::now(),
+            server_ids(&initial_list),
+            shared.budget.max_pending_set_ups,
+        );
         let mut event_loop = EventLoop {
             core,
             connections: BTreeMap::new(),
@@ -172,6 +182,7 @@
             unsent_notifications: VecDeque::new(),
             sent_to_viewers: RetainedMessages::new(),
             sent_to_servers: RetainedMessages::new(),
+            adoptions,
             held_responses: HeldResponses::default(),
             last_player_id: 0,
             last_link_id: 0,
--- a/crates/node/src/event_loop/session.rs
+++ b/crates/node/src/event_loop/session.rs
@@ -5,8 +5,7 @@
 /// A viewer's session, from its set-up request to its end.
 pub(super) struct SessionRecord {
     pub(super) session_id: Tag,
-    /// The connection on which the set-up was received. Adopted sessions have none and use the default id, which no connection
-    /// has.
+    /// The connection on which the set-up was received, or on which the session was handed over.
     pub(super) connection: ConnectionId,
     /// Index of the class in the settings' list of classes.
     pub(super) class: u8,
@@ -35,6 +34,8 @@
     Ended,
     /// Its server reports that the viewer ended it or that it was migrated, so the viewer is sent nothing.
     EndedAtServer,
+    /// It was handed over to this node after its server was lost.
+    ServerLost,
     /// Its viewer cancelled or ended it by a request to this node.
     FinishedByViewer,
     /// The connection of its set-up has ended, so no answer can reach its viewer.
--- a/crates/node/src/event_loop/shutdown.rs
+++ b/crates/node/src/event_loop/shutdown.rs
@@ -98,6 +98,7 @@
             || self.core.waiting_requests() > 0
             || self.core.playing_sessions() > 0
             || !self.unsent_notifications.is_empty()
+            || self.adoptions.has_pending()
         {
             return true;
         }
--- a/crates/node/tests/adopted_sessions.rs
+++ b/crates/node/tests/adopted_sessions.rs
@@ -1,6 +1,7 @@
 //! Adoption of sessions that play already when a viewer tells the node of them.
 mod support;
 use serde_json::json;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 use support::*;
 
 #[test]
@@ -74,3 +75,81 @@
         (&json!("FINISH"), &json!(tag(1).as_str()), &json!(41))
     );
 }
+
+/// The set-up by which a viewer hands a session at this server over.
+fn hand_over(number: u64, server_name: &str) -> serde_json::Value {
+    start_message(tag(number), PAID, "-1", &format!(";at:{server_name}"))
+}
+
+fn assert_over(viewer: &mut TestViewer, number: u64) {
+    let end = viewer.next_message();
+    assert_eq!(
+        (&end["verb"], &end["tag"], &end["rc"]),
+        (&json!("FINISH"), &json!(tag(number).as_str()), &json!(41))
+    );
+}
+
+/// Guards against a session that is never released because its server had left the list when the session was handed over.
+#[test]
+fn a_session_whose_server_was_removed_before_the_hand_over_is_released() {
+    let harness = Harness::start(2);
+    harness.directory.update(|state| {
+        state.serial = 2;
+        state.servers.remove(0);
+    });
+    harness.directory.wait_for_queries(3);
+    let mut viewer = harness.viewer();
+    viewer.send_json(&hand_over(1, &harness.servers[0].name));
+    assert_over(&mut viewer, 1);
+    viewer.send_json(&hand_over(2, &harness.servers[1].name));
+    assert_eq!(viewer.echo()["verb"], "ECHOED", "the other one plays");
+    assert_eq!(harness.node.counts().playing, 1);
+}
+
+/// Guards against a session that is never released because its server died and was started anew, before the hand-over or after it
+/// but told later.
+#[test]
+fn a_session_whose_server_was_started_anew_is_released() {
+    let harness = Harness::start(2);
+    let mut viewer = harness.viewer();
+    viewer.send_json(&hand_over(1, &harness.servers[0].name));
+    assert_eq!(viewer.echo()["verb"], "ECHOED");
+    harness.directory.update(|state| {
+        state.serial = 2;
+        state.servers[0].started_ms = unix_milliseconds();
+    });
+    assert_over(&mut viewer, 1);
+    viewer.send_json(&hand_over(2, &harness.servers[0].name));
+    assert_over(&mut viewer, 2);
+}
+
+/// Guards against a session at a server that no list names: it is over in the time that the protocol allows, but adopted if the
+/// list is only late, and over at once if its viewer ends it.
+#[test]
+fn a_session_whose_server_is_not_listed_waits_for_the_list() {
+    let harness = Harness::start(1);
+    let mut viewer = harness.viewer();
+    let late = TestServer::start(7);
+    let since = Instant::now();
+    viewer.send_json(&hand_over(1, &late.name));
+    viewer.send_json(&hand_over(2, "s-000000ff"));
+    viewer.send_json(&hand_over(3, "s-000000ff"));
+    viewer.send_json(&hand_over(2, "s-000000ff"));
+    viewer.finish(tag(3), 16);
+    assert_eq!(viewer.next_message()["verb"], "FINISHED");
+    let mut listed = listed_servers(&harness.servers);
+    listed.extend(listed_servers(std::slice::from_ref(&late)));
+    harness
+        .directory
+        .update(|state| (state.serial, state.servers) = (2, listed));
+    late.wait_for_connection();
+    assert_eq!(harness.node.counts().playing, 1);
+    assert_over(&mut viewer, 2);
+    assert!(since.elapsed().as_secs() < 8, "{:?}", since.elapsed());
+    assert_eq!(viewer.echo()["verb"], "ECHOED", "each is released once");
+}
+
+fn unix_milliseconds() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.expect("the clock is set").as_millis() as u64
+}
