--- a/crates/node/src/directory_poller.rs
+++ b/crates/node/src/directory_poller.rs
@@ -142,6 +142,7 @@
                     }
                 }
                 Err(error) if is_timeout(&error) => return None,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {} // A signal, or the end of a stop.
                 // No process listens there, or this machine can't send.
                 Err(_) => std::thread::sleep(remaining),
             }
@@ -160,9 +161,9 @@
         };
         match parse_response(id, bytes) {
             Ok(list) => {
-                let is_usable = self.queries.record_response(id, Instant::now());
-                tracing::debug!(serial = list.serial, is_usable, "directory response");
-                is_usable.then_some(list)
+                let is_expected = self.queries.record_response(id, Instant::now());
+                tracing::debug!(serial = list.serial, "directory response");
+                is_expected.then_some(list)
             }
             // The query stays outstanding, because a usable response to it may still arrive.
             Err(error) => {
--- a/crates/node/tests/faulty_directory.rs
+++ b/crates/node/tests/faulty_directory.rs
@@ -153,3 +153,24 @@
     assert_eq!(viewer.next_message()["verb"], "STARTED");
     let _ = connection;
 }
+
+/// Guards against a limit on the age of responses: a directory that takes over 4 s for each was not followed at all, and draining
+/// servers went on getting set-ups.
+#[test]
+fn a_drain_is_noticed_from_a_response_that_took_long() {
+    // Without responses there are five queries a second.
+    const QUERIES_MEANWHILE: usize = 23;
+    let harness = Harness::start(2);
+    harness.directory.update(|state| {
+        (state.serial, state.servers[0].priority) = (2, 1);
+        state.fault = Some(DirectoryFault::DelayedBy(QUERIES_MEANWHILE));
+    });
+    harness
+        .directory
+        .wait_for_queries(QUERIES_MEANWHILE as u64 + 3);
+    let mut viewer = harness.viewer();
+    for number in 0..10 {
+        let (server, _) = harness.establish(&mut viewer, tag(number), FREE);
+        assert_eq!(server.name, harness.servers[1].name);
+    }
+}
