--- a/crates/node/src/connection_table.rs
+++ b/crates/node/src/connection_table.rs
@@ -98,14 +98,14 @@
             .any(|connection| connection.has_pending_work(now, unread))
     }
 
-    /// Closes the least used connection on which nothing is pending, unless a closed connection is still in the table.
+    /// Closes the least used connection on which nothing is pending but an overdue part of a message, unless a closed connection is still in the table.
     ///
     /// Without such closes, hundreds of clients that connect and send nothing would hold the descriptors that servers need, and
     /// keep honest viewers out. Only one connection is closed at a time, because a closed connection frees its slot only after
     /// its coroutine has run. On a busy machine this is called each millisecond before that, and would close one connection
     /// after the other, including those in use: a viewer with a session was closed among hundreds of silent clients.
     ///
-    /// Connections that have sent no message are closed first, the oldest of them before the others, so an honest connection
+    /// Connections that have sent no message, or whose message is overdue, are closed first, the oldest of them before the others, so an honest connection
     /// that has not sent anything yet may be closed among many silent ones. A set-up that crosses the close of a connection is
     /// retried by its viewer, so a connection that was idle for long is closed before one that was just used.
     fn close_least_used(&self) {
@@ -116,13 +116,8 @@
         let now = clock::now();
         let least_used = connections
             .values()
-            .filter(|connection| !connection.has_pending_work(now, UnreadInput::Include))
-            .min_by_key(|connection| {
-                (
-                    connection.has_sent_message.load(Ordering::Relaxed),
-                    connection.last_used(),
-                )
-            });
+            .filter(|connection| connection.may_be_displaced(now))
+            .min_by_key(|connection| (is_in_use(connection, now), connection.last_used()));
         if let Some(connection) = least_used {
             connection
                 .outbox
@@ -132,5 +127,10 @@
     }
 }
 
+/// Whether the client of a connection has sent a message, and did not stop amid the next one.
+fn is_in_use(connection: &ViewerConnection, now: Time) -> bool {
+    connection.has_sent_message.load(Ordering::Relaxed) && !connection.has_overdue_message(now)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/node/src/connection_table/tests.rs
+++ b/crates/node/src/connection_table/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::input_gate::InputGate;
+use crate::viewer_connection::MESSAGE_GRACE;
 use crankpaddle_net::WriteBuffer;
 use crankpaddle_net::{spawn, Socket, Stack};
 use crankpaddle_time::Time;
@@ -140,16 +141,12 @@
         "a set-up that was handled and not answered"
     );
     connection.pending_set_ups.store(0, Ordering::Relaxed);
-    connection
-        .has_partial_message
-        .store(true, Ordering::Relaxed);
+    connection.set_partial_message_since(Some(Time(5)));
     assert!(
         pending(UnreadInput::Include) && !pending(UnreadInput::Ignore),
         "a message that was partially received"
     );
-    connection
-        .has_partial_message
-        .store(false, Ordering::Relaxed);
+    connection.set_partial_message_since(None);
     peer.write_all(b"x").unwrap();
     assert!(
         pending(UnreadInput::Include) && !pending(UnreadInput::Ignore),
@@ -159,6 +156,33 @@
     assert!(!pending(UnreadInput::Include));
 }
 
+/// Guards against clients that stop amid a message and keep all slots for the time that a message may take (review, case 5).
+#[test]
+fn a_connection_whose_message_is_overdue_gives_its_slot_up_unless_something_else_is_pending() {
+    let (table, listener) = (
+        ConnectionTable::new(3),
+        TcpListener::bind("127.0.0.1:0").unwrap(),
+    );
+    let now = clock::now();
+    let [with_session, stopped, young] = [(1, true), (2, true), (3, false)]
+        .map(|(id, has_sent)| connect(&table, &listener, id, has_sent));
+    stopped.set_partial_message_since(Some(now - 2 * MESSAGE_GRACE));
+    young.set_partial_message_since(Some(now));
+    assert!(stopped.may_be_displaced(now) && !young.may_be_displaced(now));
+    assert!(young.may_be_displaced(now + 2 * MESSAGE_GRACE));
+    for count in [&stopped.pending_set_ups, &stopped.queued_messages] {
+        count.store(1, Ordering::Relaxed);
+        assert!(!stopped.may_be_displaced(now), "a set-up would be lost");
+        count.store(0, Ordering::Relaxed);
+    }
+    table.close_least_used();
+    assert!(
+        stopped.outbox.socket().is_closed(),
+        "it has sent a message before"
+    );
+    assert!(!with_session.outbox.socket().is_closed());
+}
+
 #[test]
 fn what_is_unsent_is_pending_work_until_its_viewer_has_timed_out() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/node/src/viewer_connection.rs
+++ b/crates/node/src/viewer_connection.rs
@@ -9,6 +9,10 @@
 /// How long a connection that this node has closed for writing stays open for its viewer to close it too.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How long the rest of a message is waited for when another client needs the connection's slot. A client that writes a message at
+/// once is done within this time, which is also what the protocol allows for a message and a close to cross.
+pub(crate) const MESSAGE_GRACE: Duration = Duration::from_millis(50);
+
 /// The id of a viewer's connection. Ids are not reused; 0 is no connection's.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct ConnectionId(pub(crate) u64);
@@ -33,8 +37,8 @@
     pub(crate) queued_messages: AtomicUsize,
     /// Number of set-ups that were handled and wait for an answer.
     pub(crate) pending_set_ups: AtomicUsize,
-    /// Whether a message has been received in part only.
-    pub(crate) has_partial_message: AtomicBool,
+    /// When the message began that has been received in part only; [`Time::MAX`] if there is none.
+    partial_message_since: AtomicTime,
     /// Until when the viewer waits for messages in the outbox.
     output_deadline: AtomicTime,
     /// Whether the viewer has sent a complete message.
@@ -58,7 +62,7 @@
             input_gate,
             queued_messages: AtomicUsize::new(0),
             pending_set_ups: AtomicUsize::new(0),
-            has_partial_message: AtomicBool::new(false),
+            partial_message_since: AtomicTime::new(Time::MAX),
             output_deadline: AtomicTime::new(Time::ZERO),
             has_sent_message: AtomicBool::new(false),
             last_used: AtomicTime::new(now),
@@ -118,9 +122,26 @@
             || self.pending_set_ups.load(Ordering::Acquire) > 0
     }
 
+    /// Records when the message began that has been received in part, or that there is none.
+    pub(crate) fn set_partial_message_since(&self, since: Option<Time>) {
+        self.partial_message_since
+            .store(since.unwrap_or(Time::MAX), Ordering::Release);
+    }
+
+    /// Whether a message has been received in part only.
+    pub(crate) fn has_partial_message(&self) -> bool {
+        self.partial_message_since.load(Ordering::Acquire) != Time::MAX
+    }
+
+    /// Whether a message has been received in part only for longer than [`MESSAGE_GRACE`].
+    pub(crate) fn has_overdue_message(&self, now: Time) -> bool {
+        let since = self.partial_message_since.load(Ordering::Acquire);
+        since != Time::MAX && now > since + MESSAGE_GRACE
+    }
+
     /// Whether the viewer has sent bytes that were not read, or a part of a message.
     fn has_unread_input(&self) -> bool {
-        self.has_partial_message.load(Ordering::Acquire) || self.outbox.socket().has_unread()
+        self.has_partial_message() || self.outbox.socket().has_unread()
     }
 
     /// Whether anything is pending on the connection: input that is unread, input that was read and is not handled, set-ups
@@ -144,6 +165,20 @@
         unread == UnreadInput::Include && (self.has_unanswered_input() || self.has_unread_input())
     }
 
+    /// Whether the connection may be closed because another client needs its slot: nothing is pending on it but a part of a message
+    /// whose rest is overdue.
+    ///
+    /// While a partial message alone kept a connection, 300 clients that stopped amid a message held all slots for the time that a
+    /// message may take, and the requests of others waited in the kernel for seconds.
+    pub(crate) fn may_be_displaced(&self, now: Time) -> bool {
+        if self.has_overdue_message(now) {
+            return !self.has_pending_work(now, UnreadInput::Ignore)
+                && !self.has_unanswered_input()
+                && !self.outbox.socket().has_unread();
+        }
+        !self.has_pending_work(now, UnreadInput::Include)
+    }
+
     /// The time by which a message that begins at `now` must be complete.
     ///
     /// The connection is closed at that time, and set-ups that are pending on it would lose their answers. So the deadline
--- a/crates/node/src/viewer_reader.rs
+++ b/crates/node/src/viewer_reader.rs
@@ -94,7 +94,7 @@
         closed_here = ?connection.outbox.socket().close_reason(),
         pending_set_ups = connection.pending_set_ups.load(Ordering::Acquire),
         queued_messages = connection.queued_messages.load(Ordering::Acquire),
-        has_partial_message = connection.has_partial_message.load(Ordering::Acquire),
+        has_partial_message = connection.has_partial_message(),
         has_sent_message = connection.has_sent_message.load(Ordering::Relaxed),
         "viewer connection ended"
     );
@@ -151,11 +151,12 @@
         if is_partial && is_new {
             let deadline = connection.message_deadline(now, MESSAGE_TIMEOUT);
             connection.set_expiry(deadline);
+            connection.set_partial_message_since(Some(now));
+        }
+        if !is_partial {
+            connection.set_partial_message_since(None);
         }
         self.has_partial_message = is_partial;
-        connection
-            .has_partial_message
-            .store(is_partial, Ordering::Release);
     }
 }
 
--- a/crates/node/tests/faulty_clients.rs
+++ b/crates/node/tests/faulty_clients.rs
@@ -166,3 +166,26 @@
     let mut viewer = harness.viewer();
     harness.establish(&mut viewer, tag(2), FREE);
 }
+
+/// Guards against clients that stop amid a message and hold all connections until their messages have timed out: usual requests
+/// then wait in the kernel for seconds (review, case 5). Only as many are closed as others need.
+#[test]
+fn clients_that_stop_amid_a_message_keep_nobody_waiting() {
+    // With 64 descriptors the node has 16 connections for viewers.
+    const ALL_CONNECTIONS: usize = 16;
+    const USUAL_CLIENTS: u64 = 5;
+    let harness = Harness::start_with(1, |c| c["limits"]["sockets"] = json!(64));
+    let mut stopped: Vec<TestViewer> = (0..ALL_CONNECTIONS).map(|_| harness.viewer()).collect();
+    for viewer in &mut stopped {
+        viewer.try_send(br#"{"verb":"START","tag":"00000000000000aa","opts":{"class":"#);
+    }
+    for number in 0..USUAL_CLIENTS {
+        let mut usual = harness.viewer();
+        harness.establish(&mut usual, tag(number), FREE);
+    }
+    let open = stopped.iter().filter(|viewer| viewer.is_open()).count();
+    assert!(
+        open > 0,
+        "usual clients were served before the others' messages timed out"
+    );
+}
--- a/crates/node/tests/support/viewer.rs
+++ b/crates/node/tests/support/viewer.rs
@@ -78,6 +78,18 @@
         }
     }
 
+    /// Whether the connection is open, without waiting.
+    pub(crate) fn is_open(&self) -> bool {
+        self.stream
+            .set_nonblocking(true)
+            .expect("the option can be set");
+        let peeked = self.stream.peek(&mut [0u8; 1]);
+        self.stream
+            .set_nonblocking(false)
+            .expect("the option can be set");
+        peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+    }
+
     /// Sends an echo request and returns the next message. When that is the echo's answer, the node has handled everything that
     /// was sent before on this connection.
     pub(crate) fn echo(&mut self) -> Value {
