--- a/crates/node/src/budget.rs
+++ b/crates/node/src/budget.rs
@@ -17,6 +17,8 @@
 const PENDING_SET_UPS_PER_CONNECTION_PER_MB: usize = 4;
 /// Maximum number of unanswered set-ups of one connection, however much memory there is.
 const MAX_PENDING_SET_UPS_PER_CONNECTION: usize = 512;
+/// Sessions that each MB of memory allows before no more are adopted. A session takes less than 2 KiB.
+const SESSIONS_PER_MB: usize = 128;
 /// The share of the memory for messages that were read and are not handled: one part in this many.
 const QUEUED_INPUT_SHARE: usize = 16;
 /// Maximum number of bytes of one connection that were read and are not handled, however much memory there is.
@@ -38,6 +40,9 @@
     pub(crate) max_pending_set_ups: usize,
     /// Unanswered set-ups of one connection.
     pub(crate) max_pending_set_ups_per_connection: usize,
+    /// Sessions of the whole node beyond which none is adopted. Sessions that the node sets up are bounded by its servers' capacity,
+    /// but any client can claim that sessions were under way.
+    pub(crate) max_sessions: usize,
     /// Memory for the messages of one connection that were read and are not handled ([`crate::input_gate`]). One message may
     /// always be queued, also if it is longer.
     pub(crate) max_queued_input_bytes: usize,
@@ -65,6 +70,7 @@
             max_pending_set_ups_per_connection: memory_mb
                 .saturating_mul(PENDING_SET_UPS_PER_CONNECTION_PER_MB)
                 .min(MAX_PENDING_SET_UPS_PER_CONNECTION),
+            max_sessions: memory_mb.saturating_mul(SESSIONS_PER_MB),
             max_queued_input_bytes: (memory_bytes / QUEUED_INPUT_SHARE / descriptors)
                 .min(MAX_QUEUED_INPUT_BYTES),
             max_outbox_bytes: (memory_bytes / OUTBOX_SHARE / descriptors)
--- a/crates/node/src/event_loop/adoption.rs
+++ b/crates/node/src/event_loop/adoption.rs
@@ -7,6 +7,8 @@
 use super::endpoint_list::server_id_from_name;
 use super::session::{RemovalReason, SessionRecord, SessionState};
 use super::{ConnectionId, EventLoop};
+use crate::budget::ResourceBudget;
+use crate::shared::increment;
 use crankpaddle_front::{AttemptId, Input, OpenRequest, PlayerId, ServerId, Time};
 use crankpaddle_net::clock;
 use crankpaddle_node_protocol::viewers::{self, cause};
@@ -45,19 +47,22 @@
     initial_servers: BTreeSet<ServerId>,
     pending: Vec<PendingAdoption>,
     max_pending: usize,
+    /// Sessions in all beyond which none is adopted.
+    max_sessions: usize,
 }
 
 impl Adoptions {
     pub(super) fn new(
         node_started_at: Time,
         initial_servers: BTreeSet<ServerId>,
-        max_pending: usize,
+        budget: &ResourceBudget,
     ) -> Adoptions {
         Adoptions {
             node_started_at,
             initial_servers,
             pending: Vec::new(),
-            max_pending,
+            max_pending: budget.max_pending_set_ups,
+            max_sessions: budget.max_sessions,
         }
     }
 
@@ -82,6 +87,7 @@
             tracing::debug!(%session_id, server_name, "session not adopted, its server does not fit the settings");
             return;
         }
+        let has_room = self.sessions.len() < self.adoptions.max_sessions;
         let player = self.insert_session(SessionRecord {
             session_id,
             connection,
@@ -89,12 +95,12 @@
             title: params.title_text,
             state: SessionState::Established,
         });
+        if !has_room {
+            increment(&self.shared.drop_counters.adoptions);
+            return self.reject_adoption(player);
+        }
         match knowledge {
-            ServerKnowledge::Running(server) => self.notify_core(Input::AdoptSession {
-                player,
-                open,
-                server,
-            }),
+            ServerKnowledge::Running(server) => self.adopt_at_server(player, open, server),
             ServerKnowledge::Unknown
                 if self.adoptions.pending.len() < self.adoptions.max_pending =>
             {
@@ -110,6 +116,14 @@
         }
     }
 
+    fn adopt_at_server(&mut self, player: PlayerId, open: OpenRequest, server: ServerId) {
+        self.notify_core(Input::AdoptSession {
+            player,
+            open,
+            server,
+        });
+    }
+
     fn server_knowledge(&self, name: &str) -> ServerKnowledge {
         if self.is_incompatible(name) {
             return ServerKnowledge::Incompatible;
@@ -140,11 +154,9 @@
                 continue; // Its viewer has ended it.
             }
             match self.server_knowledge(&adoption.server_name) {
-                ServerKnowledge::Running(server) => self.notify_core(Input::AdoptSession {
-                    player: adoption.player,
-                    open: adoption.open,
-                    server,
-                }),
+                ServerKnowledge::Running(server) => {
+                    self.adopt_at_server(adoption.player, adoption.open, server);
+                }
                 ServerKnowledge::Unknown if now < adoption.expires_at => {
                     self.adoptions.pending.push(adoption);
                 }
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -162,11 +162,7 @@
             core.set_event_observer(observer);
         }
         let initial_list = config.initial_list.clone();
-        let adoptions = Adoptions::new(
-            clock::now(),
-            server_ids(&initial_list),
-            shared.budget.max_pending_set_ups,
-        );
+        let adoptions = Adoptions::new(clock::now(), server_ids(&initial_list), &shared.budget);
         let mut event_loop = EventLoop {
             core,
             connections: BTreeMap::new(),
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -91,6 +91,8 @@
     pub(crate) duplicate: AtomicU64,
     /// Set-ups rejected because their connection had too many unanswered ones.
     pub(crate) too_many_pending: AtomicU64,
+    /// Sessions that were handed over and not adopted because there were too many sessions.
+    pub(crate) adoptions: AtomicU64,
     /// Connections to servers that were closed because of a malformed message.
     pub(crate) broken_links: AtomicU64,
     /// Servers' responses that no attempt waited for.
--- a/crates/node/tests/adopted_sessions.rs
+++ b/crates/node/tests/adopted_sessions.rs
@@ -153,3 +153,23 @@
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     since_epoch.expect("the clock is set").as_millis() as u64
 }
+
+/// Guards against a client that claims sessions without end, under ever new ids: 3 such clients took 400 MB in 6 s.
+#[test]
+fn sessions_are_adopted_in_bounded_memory() {
+    // With 1 MB of memory the node adopts up to 128 sessions.
+    const ADOPTED: u64 = 128;
+    const CLAIMED: u64 = 2000;
+    let harness = Harness::start_with(1, |c| c["limits"]["memory_mb"] = json!(1));
+    let mut viewer = harness.viewer();
+    let server = &harness.servers[0].name;
+    for number in 0..ADOPTED {
+        viewer.send_json(&hand_over(number, server));
+    }
+    assert_eq!(viewer.echo()["verb"], "ECHOED");
+    for number in ADOPTED..CLAIMED {
+        viewer.send_json(&hand_over(number, server));
+        assert_over(&mut viewer, number);
+    }
+    assert_eq!(harness.node.counts().playing, ADOPTED as usize);
+}
