--- a/crates/daemon/src/event_loop/mod.rs
+++ b/crates/daemon/src/event_loop/mod.rs
@@ -37,7 +37,7 @@
 use crate::traffic::TrafficAccounting;
 use crankpaddle_cross_zone_traffic::report::TrafficReport;
 use crankpaddle_front::{AttemptId, Core, EndpointListKind, Input, Output, PlayerId, ServerId};
-use crankpaddle_net::{clock, drain_after_stall, drain_queue, recv_until};
+use crankpaddle_net::{clock, drain_after_stall, drain_queue, recv_until, PollingBreak};
 use crankpaddle_server_protocol::list::CachedEndpoints;
 use crankpaddle_time::Time;
 use durable_state::DurableState;
@@ -156,6 +156,7 @@
     /// Runs until the front has stopped; returns the threads that still write to disk.
     pub(crate) fn run(mut self, inbox: &Receiver<EventLoopMessage>) -> Vec<JoinHandle<()>> {
         self.next_maintenance = clock::now() + MAINTENANCE_INTERVAL;
+        let mut polling_break = PollingBreak::starting_at(clock::now());
         while !self.is_finished() {
             let Ok(first) = self.wait_for_message(inbox) else {
                 break;
@@ -163,7 +164,7 @@
             if let Some(message) = first {
                 self.handle_message(message);
             }
-            self.drain_inbox(inbox);
+            let has_backlog = self.drain_inbox(inbox);
             if clock::now() >= self.next_maintenance {
                 self.next_maintenance = clock::now() + MAINTENANCE_INTERVAL;
                 self.run_maintenance();
@@ -175,6 +176,11 @@
                 waiting: self.core.waiting_requests(),
                 playing: self.core.playing_sessions(),
             });
+            if has_backlog {
+                // While players send at full speed this loop never waits, and the sockets that its worker thread polls would
+                // starve: one in so many new connections as there are threads was not read until the flood was over.
+                polling_break.take_if_due();
+            }
         }
         self.finish()
     }
@@ -205,9 +211,9 @@
     }
 
     /// Handles one batch of queued messages. After a stall of the process it handles all of them before any timer
-    /// fires: an answer that arrived in time but was not read yet must not count as late.
-    fn drain_inbox(&mut self, inbox: &Receiver<EventLoopMessage>) {
-        drain_queue(inbox, MESSAGE_BATCH_SIZE, |message| {
+    /// fires: an answer that arrived in time but was not read yet must not count as late. Returns whether there was any.
+    fn drain_inbox(&mut self, inbox: &Receiver<EventLoopMessage>) -> bool {
+        let handled = drain_queue(inbox, MESSAGE_BATCH_SIZE, |message| {
             self.handle_message(message);
         });
         let has_stalled = drain_after_stall(self.core_deadline(), || {
@@ -219,6 +225,7 @@
         if has_stalled {
             tracing::warn!("event loop stalled");
         }
+        handled > 0
     }
 
     fn core_deadline(&self) -> Time {
--- a/crates/daemon/tests/edges/limits.rs
+++ b/crates/daemon/tests/edges/limits.rs
@@ -1,7 +1,10 @@
 //! Tests for the limits of connections: their number, their pending requests, their silence and their unread bytes.
-use crate::support::{wait_until, Harness, FREE, PAID, TEST_TIMEOUT};
-use crankpaddle_session_api::client::ClientEvent;
+use crate::support::{wait_until, Harness, TestPlayer, FREE, PAID, TEST_TIMEOUT};
+use crankpaddle_session_api::client::{self, ClientEvent};
+use crankpaddle_session_api::methods::Open;
 use std::io::{Read, Write};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use tungstenite::Message;
 
@@ -107,3 +110,55 @@
             .contains("200 OK")
     });
 }
+
+/// Opens sessions at full speed and never reads, again as soon as it is disconnected, until `is_over` is set.
+fn flood(address: SocketAddr, number: usize, is_over: &AtomicBool) {
+    for connection in 0.. {
+        let mut player = TestPlayer::connect(address);
+        for call in 0.. {
+            if is_over.load(Ordering::Relaxed) {
+                return;
+            }
+            let key = format!("flood-{number}-{connection}-{call}");
+            let open = client::open(call, &open_request(&key));
+            if player.socket.send(Message::text(open)).is_err() {
+                break;
+            }
+        }
+    }
+}
+
+fn open_request(key: &str) -> Open {
+    Open {
+        key: key.into(),
+        title: "clip-03".into(),
+        class: FREE.into(),
+        ..Open::default()
+    }
+}
+
+/// Guards against players that open sessions at full speed and never read: the event loop never waited, so the sockets that its
+/// worker thread polls were not read until the flood was over, and handshakes there took 5 to 8 s.
+#[test]
+fn players_that_flood_keep_no_other_player_from_being_served() {
+    const FLOODING_PLAYERS: usize = 12;
+    const USUAL_PLAYERS: usize = 8;
+    let harness = Harness::new(&[]);
+    let address = harness.daemon.address();
+    let is_over = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        for number in 0..FLOODING_PLAYERS {
+            let is_over = &is_over;
+            scope.spawn(move || flood(address, number, is_over));
+        }
+        let usual = scope.spawn(|| {
+            for number in 0..USUAL_PLAYERS {
+                let mut player = TestPlayer::connect(address);
+                player.open_and_wait(&format!("usual-{number}"), FREE);
+            }
+        });
+        let served = usual.join();
+        is_over.store(true, Ordering::Relaxed);
+        served.expect("each is answered during the flood");
+    });
+}
