--- a/crates/front/src/core/players.rs
+++ b/crates/front/src/core/players.rs
@@ -69,8 +69,13 @@
             }
             // The request is new or its attempt has just ended, and the policy has not decided on it yet.
             RequestPhase::Waiting(None) => {
+                let outcome = if request.may_have_run {
+                    RequestOutcome::Failed
+                } else {
+                    RequestOutcome::Rejected // Its key may be used again.
+                };
                 self.emit(Event::ClientLeft(id));
-                self.end_waiting(id, RequestOutcome::Failed);
+                self.end_waiting(id, outcome);
             }
             RequestPhase::Playing(_) => {
                 self.tear_down(id, AttemptOutcome::Cancelled, RequestOutcome::Played, out);
--- a/crates/node/src/event_loop/attempt_lifecycle.rs
+++ b/crates/node/src/event_loop/attempt_lifecycle.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// If a server accepts a set-up within this time after it was abandoned, the session is released.
-const LATE_ACCEPTANCE_PERIOD: Duration = Duration::from_secs(10);
+pub(super) const LATE_ACCEPTANCE_PERIOD: Duration = Duration::from_secs(10);
 
 impl EventLoop {
     /// Ends an attempt that established no session, and reports its outcome to the core.
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -43,6 +43,7 @@
 use adoption::Adoptions;
 use attempt::AttemptRecord;
 use attempt_dispatch::{QueuedAttempt, RECHECK_INTERVAL};
+use attempt_lifecycle::LATE_ACCEPTANCE_PERIOD;
 use client_notifications::SentMessage;
 use crankpaddle_front::{
     AttemptId, Core, CoreConfig, EndpointListKind, EventObserver, Input, Output, PlayerId,
@@ -144,8 +145,9 @@
         recovered_resume_window: Duration::ZERO, // This node persists nothing that could be recovered.
         max_pending: shared.budget.max_pending_set_ups,
         max_pending_per_player: 1,
-        key_retention: Duration::ZERO,
-        max_retained_keys: 0, // Each set-up has a key of its own.
+        // The protocol gives each set-up an id of its own. A client that sends one again must not set up a paid session twice.
+        key_retention: LATE_ACCEPTANCE_PERIOD,
+        max_retained_keys: shared.budget.max_pending_set_ups,
     }
 }
 
