--- a/crates/node/src/event_loop/maintenance.rs
+++ b/crates/node/src/event_loop/maintenance.rs
@@ -107,6 +107,8 @@
         if server.is_unused() {
             self.close_links(id, CloseReason::NotNeeded);
             self.servers.remove(&id);
+        } else if server.health.has_missed_probe(now) {
+            self.server_lost(id);
         } else if !server.is_listed && server.health.should_connect(now, true) {
             // It is silent, and a connect can't check it, as its address may be another server's by now.
             self.server_lost(id);
--- a/crates/node/src/event_loop/server_links.rs
+++ b/crates/node/src/event_loop/server_links.rs
@@ -144,7 +144,7 @@
             }
             return;
         };
-        let (server_id, purpose) = (link.server, link.purpose);
+        let server_id = link.server;
         let outcome = result.as_ref().map(|_| ()).map_err(|failure| *failure);
         tracing::debug!(
             link_id = id.0,
@@ -152,18 +152,6 @@
             ?outcome,
             "connect completed"
         );
-        let has_responsive_link = self
-            .find_link(server_id, LinkRecord::is_responsive)
-            .is_some();
-        let outcome = match outcome {
-            // A server that is not silent, with another link, may only be slow to accept a further connection.
-            Err(ConnectFailure::NoResponse)
-                if purpose == LinkPurpose::ReceiveReleases && has_responsive_link =>
-            {
-                Err(ConnectFailure::Local)
-            }
-            other => other,
-        };
         let is_lost = self
             .servers
             .get_mut(&server_id)
@@ -185,10 +173,20 @@
         let has_link = self
             .find_link(server, |link| !link.is_connecting())
             .is_some();
-        // A process that is shutting down may close its listener while its sessions still run. Its open links show that.
-        let may_still_run = has_link && failure == ConnectFailure::Refused;
-        if is_lost && !may_still_run {
-            self.server_lost(server);
+        if !is_lost {
+            return;
+        }
+        let now = clock::now();
+        let is_silent = self
+            .servers
+            .get(&server)
+            .is_some_and(|server| server.health.is_silent(now));
+        match failure {
+            // A process that is shutting down may close its listener while its sessions still run. Its open links show that.
+            ConnectFailure::Refused if has_link => {}
+            // A machine may also be slow to accept connections while it goes on serving those that it has.
+            ConnectFailure::NoResponse if has_link && !is_silent => self.probe_links(server, now),
+            _ => self.server_lost(server),
         }
     }
 
--- a/crates/node/src/event_loop/server_liveness.rs
+++ b/crates/node/src/event_loop/server_liveness.rs
@@ -5,6 +5,10 @@
 use crankpaddle_front::{AttemptId, AttemptOutcome, Input, LoadReport, ServerId, Time};
 use crankpaddle_net::CloseReason;
 use crankpaddle_node_protocol::viewers::cause;
+use crankpaddle_node_protocol::{rtsp, Tag};
+
+/// The session id in probes. It is no viewer's, and not that of the policy's health checks.
+pub(super) const PROBE_SESSION: &str = "ffffffffffffffff";
 
 impl EventLoop {
     /// Connects to a server with sessions or deferred messages if it has no link or is silent, or if a release may have been lost
@@ -66,6 +70,24 @@
         }
     }
 
+    /// Requests a response on each open link of a server that does not accept further connections. If the settings allow no health
+    /// checks, the server is lost only once it is silent.
+    pub(super) fn probe_links(&mut self, id: ServerId, now: Time) {
+        let may_probe = self.shared.config.fleet.settings.health_checks_allowed;
+        let Some(server) = self.servers.get_mut(&id) else {
+            return;
+        };
+        if !may_probe || !server.health.begin_probe(now) {
+            return;
+        }
+        tracing::debug!(server_id = id.0, "server probed, it accepts no connection");
+        let probe = Tag::parse(PROBE_SESSION).map(rtsp::health_check);
+        let links = server.links.iter().filter_map(|link| self.links.get(link));
+        for outbox in links.filter_map(LinkRecord::outbox) {
+            outbox.push(probe.as_deref().unwrap_or_default());
+        }
+    }
+
     /// Ends the sessions and closes the links of a server's previous incarnation, when the endpoint list reports that a new one
     /// began at `started_at` or that the server has another address.
     ///
@@ -103,6 +125,7 @@
         };
         server.deferred.clear();
         server.abandoned.clear();
+        server.health.server_lost();
         let lost = self.established_attempts(id, |_| true);
         self.end_sessions(id, lost);
         self.close_links(id, CloseReason::PeerReplaced);
--- a/crates/node/src/event_loop/server_messages.rs
+++ b/crates/node/src/event_loop/server_messages.rs
@@ -1,4 +1,5 @@
 //! Handling of messages from servers: responses to set-ups and health checks, session updates, and releases.
+use super::server_liveness::PROBE_SESSION;
 use super::session::RemovalReason;
 use super::EventLoop;
 use crate::input_gate::QueuedInput;
@@ -72,7 +73,14 @@
         }
     }
 
+    /// Reports the response to a health check that the policy has requested. That to a probe has served its purpose already.
     fn handle_health_response(&mut self, server: ServerId, status: u16, message: &rtsp::Message) {
+        if message
+            .session
+            .is_some_and(|id| id.as_str() == PROBE_SESSION)
+        {
+            return;
+        }
         let outcome = if status == status::OK {
             AttemptOutcome::Completed
         } else {
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -4,8 +4,8 @@
 //! with sessions sends updates every few seconds, so one that is silent for longer is checked by a connect: a server that
 //! accepts it is alive, even if it hangs.
 //!
-//! Without this check, sessions at a failed machine would never end here. The drawback: on a network that drops two connects
-//! in a row, sessions that still play are ended.
+//! Without this check, sessions at a failed machine would never end here. A machine may also be slow to accept connections while it
+//! serves those that it has. So if there are open links, a response is requested on them before the server counts as lost.
 use crankpaddle_time::Time;
 use std::time::Duration;
 
@@ -15,6 +15,8 @@
 const DEFAULT_UPDATE_INTERVAL: Duration = Duration::from_secs(4);
 /// Number of consecutive connects without a response after which a machine is considered failed.
 const MAX_UNANSWERED_CONNECTS: u32 = 2;
+/// How long a response on an open link is waited for after connects had none. The protocol lets connections come up a second late.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time without further connects after one that was refused or could not be tried.
 const CONNECT_BACKOFF: Duration = Duration::from_millis(200);
 /// Lower bound of the connect timeout, whatever the settings name.
@@ -43,6 +45,8 @@
     unanswered_connects: u32,
     /// The time before which no connect is made.
     backoff_until: Time,
+    /// When a response was requested on the open links, if nothing was received since.
+    probed_at: Option<Time>,
 }
 
 impl ServerHealth {
@@ -55,6 +59,7 @@
             last_received: now,
             unanswered_connects: 0,
             backoff_until: Time::ZERO,
+            probed_at: None,
         }
     }
 
@@ -62,6 +67,31 @@
     pub(crate) fn record_received(&mut self, now: Time) {
         self.last_received = now;
         self.unanswered_connects = 0;
+        self.probed_at = None;
+    }
+
+    /// Whether nothing was received for longer than between two updates.
+    pub(crate) fn is_silent(&self, now: Time) -> bool {
+        now.duration_since(self.last_received) > self.max_silence
+    }
+
+    /// Records that a response is requested on the open links; false if one was requested before and nothing was received since.
+    pub(crate) fn begin_probe(&mut self, now: Time) -> bool {
+        let is_new = self.probed_at.is_none();
+        self.probed_at.get_or_insert(now);
+        is_new
+    }
+
+    /// Records that the server was lost. What is found of it from now on counts anew.
+    pub(crate) fn server_lost(&mut self) {
+        self.unanswered_connects = 0;
+        self.probed_at = None;
+    }
+
+    /// Whether nothing was received for [`PROBE_TIMEOUT`] after a response was requested: the server is lost.
+    pub(crate) fn has_missed_probe(&self, now: Time) -> bool {
+        self.probed_at
+            .is_some_and(|probed_at| now > probed_at + PROBE_TIMEOUT)
     }
 
     /// Records that a session was established at the server. Silence before that does not count, because a server without
@@ -73,8 +103,7 @@
     /// Whether to connect in order to receive messages about the sessions at the server. `has_link` tells whether there is a
     /// connection already.
     pub(crate) fn should_connect(&self, now: Time, has_link: bool) -> bool {
-        let is_silent = now.duration_since(self.last_received) > self.max_silence;
-        self.may_connect(now) && (!has_link || is_silent)
+        self.may_connect(now) && (!has_link || self.is_silent(now))
     }
 
     /// Whether a connect may be made at `now`, after the last one that was refused or could not be tried.
--- a/crates/node/src/health/tests.rs
+++ b/crates/node/src/health/tests.rs
@@ -42,3 +42,16 @@
     );
     assert!(health.should_connect(at(8), false));
 }
+
+/// Guards against a server that is taken for lost although its open connections bring messages.
+#[test]
+fn a_server_is_lost_when_a_probe_has_no_response_and_not_before() {
+    let mut health = ServerHealth::new(at(10), None);
+    assert!(!health.has_missed_probe(at(100)), "none was sent");
+    assert!(health.begin_probe(at(11)) && !health.begin_probe(at(12)));
+    assert!(!health.has_missed_probe(at(11) + PROBE_TIMEOUT));
+    assert!(health.has_missed_probe(at(13)));
+    health.record_received(at(12));
+    assert!(!health.has_missed_probe(at(100)));
+    assert!(health.begin_probe(at(101)), "it may be probed again");
+}
--- a/crates/node/tests/faulty_servers.rs
+++ b/crates/node/tests/faulty_servers.rs
@@ -1,6 +1,7 @@
 //! Faulty servers: malformed and unexpected responses, broken links, and silence.
 mod support;
 use serde_json::json;
+use std::net::TcpStream;
 use std::time::Instant;
 use support::*;
 
@@ -276,3 +277,67 @@
     server.send(connection, first);
     server.try_send(connection, second);
 }
+
+/// A session at a server that brings no new connection up, for which two set-ups wait.
+struct UnacceptingServer {
+    harness: Harness,
+    viewer: TestViewer,
+    /// The viewer of the set-ups, which are withdrawn when it leaves.
+    _waiting: TestViewer,
+    /// Connections that fill the server's accept queue.
+    backlog: Vec<TcpStream>,
+}
+
+/// Starts a node that may probe servers. Servers send updates each minute here, so that none is taken for silent during the test.
+fn session_at_a_server_that_accepts_no_connection() -> UnacceptingServer {
+    let harness = Harness::start_with(1, |c| {
+        c["settings"] = fleet_settings(60_000_000_000);
+        c["settings"]["limits"]["probing"] = json!(true);
+    });
+    let mut viewer = harness.viewer();
+    harness.establish(&mut viewer, tag(1), FREE);
+    let backlog = harness.servers[0].simulate_machine_failure();
+    let mut waiting = harness.viewer();
+    for number in 2..=4 {
+        waiting.start(tag(number), FREE, 15_000);
+    }
+    UnacceptingServer {
+        harness,
+        viewer,
+        _waiting: waiting,
+        backlog,
+    }
+}
+
+/// Guards against sessions that are declared over while they play, because two new connections to their server came up late: its
+/// open connections were served all the time (review, case 4).
+#[test]
+fn a_server_that_is_slow_to_accept_connections_keeps_its_sessions() {
+    let mut case = session_at_a_server_that_accepts_no_connection();
+    let server = &case.harness.servers[0];
+    let (link, probe) = server.wait_for_request("OPTIONS");
+    let session = probe.session.expect("a session");
+    server.send(link, &response(200, 3, session, "", ""));
+    drop(case.backlog);
+    server.resume_accepting();
+    server.send(link, &crankpaddle_node_protocol::rtsp::release(tag(1), 16));
+    let end = case.viewer.next_message();
+    assert_eq!(
+        (&end["tag"], &end["rc"]),
+        (&json!(tag(1).as_str()), &json!(16)),
+        "it played until its server released it"
+    );
+}
+
+/// Guards against sessions that stay at a machine that has failed, if a probe that has no response has no consequence.
+#[test]
+fn sessions_of_a_server_that_does_not_respond_to_a_probe_are_released() {
+    let mut case = session_at_a_server_that_accepts_no_connection();
+    let since = Instant::now();
+    let end = case.viewer.next_message();
+    assert_eq!(
+        (&end["tag"], &end["rc"]),
+        (&json!(tag(1).as_str()), &json!(41))
+    );
+    assert!(since.elapsed().as_secs() < 8, "{:?}", since.elapsed());
+}
