--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -9,7 +9,7 @@
 //! - `adoption`: sessions that were under way when the node started
 //! - `attempt_dispatch`, `attempt_lifecycle`: an attempt from the policy's decision to its end
 //! - `server_links`: connections to servers
-//! - `unconfirmed_sessions`: sessions whose release may have been lost with a connection
+//! - `lost_releases`, `unconfirmed_sessions`: releases that may have been lost with a connection
 //! - `server_liveness`: detection of lost servers, which ends the sessions there
 //! - `endpoint_list`: the directory's list of servers
 //! - `core_driver`: inputs into the core and outputs from it
@@ -26,6 +26,7 @@
 mod endpoint_list;
 mod held_responses;
 mod link;
+mod lost_releases;
 mod maintenance;
 mod server;
 mod server_links;
--- a/crates/node/src/event_loop/server_links.rs
+++ b/crates/node/src/event_loop/server_links.rs
@@ -1,19 +1,16 @@
 //! Links to servers: finding, opening, writing and closing them, and ending the attempts on a link that has ended.
-use super::attempt::AttemptState;
 use super::delivery::DeliveryStatus;
 use super::link::{LinkPurpose, LinkRecord};
 use super::server::DeferredMessage;
 use super::server_releases::ServerRelease;
-use super::unconfirmed_sessions::ConnectionEnd;
 use super::{EventLoop, UnsentMessage, RELEASE_RETRY_PERIOD};
 use crate::health::ConnectFailure;
 use crate::server_connector;
 use crate::shared::{LinkEnd, LinkId};
 use crankpaddle_front::{AttemptId, AttemptOutcome, LoadReport, ServerId, Time};
-use crankpaddle_net::{clock, CloseReason, ReadEnd, WriteBuffer};
+use crankpaddle_net::{clock, CloseReason, WriteBuffer};
 use crankpaddle_node_protocol::viewers::cause;
 use std::sync::Arc;
-use std::time::Duration;
 
 impl EventLoop {
     /// The most recently used link of a server for which `predicate` holds.
@@ -241,25 +238,6 @@
         }
     }
 
-    /// Closes the links that were opened earlier to receive releases and have not been used for a set-up, so that repeated
-    /// connects do not add up.
-    fn close_unneeded_links(&mut self, newest: LinkId, server: ServerId) {
-        let unneeded: Vec<LinkId> = self
-            .links
-            .iter()
-            .filter(|(id, link)| {
-                **id != newest
-                    && link.server == server
-                    && link.purpose == LinkPurpose::ReceiveReleases
-                    && link.is_idle()
-            })
-            .map(|(id, _)| *id)
-            .collect();
-        for link in unneeded {
-            self.close_link(link, CloseReason::NotNeeded);
-        }
-    }
-
     /// Queues the attempts that wait for a link to connect for dispatch, on this link or on another.
     fn requeue_pending(&mut self, id: LinkId) {
         let Some(link) = self.links.get_mut(&id) else {
@@ -401,40 +379,4 @@
         let release = ServerRelease::new(server, session_id, cause::FAILED);
         self.release_at_server(None, release);
     }
-
-    /// How a link has ended on which the server may have sent messages that were lost; `None` if it can't have sent any.
-    fn end_that_loses_messages(&self, link: &LinkRecord, end: LinkEnd) -> Option<ConnectionEnd> {
-        let idle_timeout = Duration::from_nanos(self.shared.config.fleet.idle_timeout);
-        let idle_time = clock::now().duration_since(link.last_received);
-        let is_idle_close = !idle_timeout.is_zero() && idle_time >= idle_timeout;
-        match end {
-            LinkEnd::ConnectFailed(_) => None,
-            LinkEnd::ByNode(_) if link.is_connecting() => None,
-            LinkEnd::ByNode(_) => Some(ConnectionEnd::Announced),
-            // Servers close idle connections after this time. Everything that they sent before was received.
-            LinkEnd::ByServer(ReadEnd::Closed) if is_idle_close => None,
-            LinkEnd::ByServer(_) | LinkEnd::Malformed => Some(ConnectionEnd::Unannounced),
-        }
-    }
-
-    /// Marks the sessions whose releases the server may have sent on a link that has ended: those that were set up on it, and
-    /// those whose own link has ended before.
-    fn mark_unconfirmed(&mut self, ended: LinkId, server: ServerId, end: ConnectionEnd) {
-        let Some(server) = self.servers.get_mut(&server) else {
-            return;
-        };
-        let now = clock::now();
-        for id in server.attempts.values() {
-            let Some(AttemptState::Established { link, .. }) =
-                self.attempts.get(id).map(|attempt| attempt.state)
-            else {
-                continue;
-            };
-            let has_own_link =
-                link.is_some_and(|link| link != ended && self.links.contains_key(&link));
-            if !has_own_link {
-                server.unconfirmed.add(*id, end, now);
-            }
-        }
-    }
 }
--- a/crates/node/src/event_loop/server_liveness.rs
+++ b/crates/node/src/event_loop/server_liveness.rs
@@ -1,10 +1,8 @@
 //! Checks whether servers with sessions are alive, and ends the sessions at servers that are not.
 use super::link::LinkPurpose;
-use super::server_releases::ServerRelease;
 use super::{EventLoop, LinkRecord};
 use crankpaddle_front::{AttemptId, AttemptOutcome, Input, LoadReport, ServerId, Time};
 use crankpaddle_net::CloseReason;
-use crankpaddle_node_protocol::viewers::cause;
 use crankpaddle_node_protocol::{rtsp, Tag};
 
 /// The session id in probes. It is no viewer's, and not that of the policy's health checks.
@@ -52,24 +50,6 @@
             }
     }
 
-    /// Ends the sessions at an unlisted server whose release may have been lost. No connection can be opened on which the server
-    /// would repeat it.
-    pub(super) fn end_unconfirmed(&mut self, id: ServerId) {
-        let Some(server) = self.servers.get_mut(&id) else {
-            return;
-        };
-        let lost = server.unconfirmed.take_unannounced();
-        let releases: Vec<ServerRelease> = lost
-            .iter()
-            .filter_map(|attempt| self.attempts.get(attempt))
-            .map(|attempt| ServerRelease::new(id, attempt.session_id, cause::FAILED))
-            .collect();
-        self.end_sessions(id, lost);
-        for release in releases {
-            self.release_at_server(None, release);
-        }
-    }
-
     /// Requests a response on each open link of a server that does not accept further connections. If the settings allow no health
     /// checks, the server is lost only once it is silent.
     pub(super) fn probe_links(&mut self, id: ServerId, now: Time) {
@@ -155,7 +135,7 @@
     }
 
     /// Ends sessions that were lost with their server, and reports them to the core.
-    fn end_sessions(&mut self, server: ServerId, lost: Vec<AttemptId>) {
+    pub(super) fn end_sessions(&mut self, server: ServerId, lost: Vec<AttemptId>) {
         if !lost.is_empty() {
             tracing::info!(server_id = server.0, sessions = lost.len(), "server lost");
         }
--- a/crates/node/tests/adopted_sessions.rs
+++ b/crates/node/tests/adopted_sessions.rs
@@ -1,7 +1,7 @@
 //! Adoption of sessions that play already when a viewer tells the node of them.
 mod support;
 use serde_json::json;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::Instant;
 use support::*;
 
 #[test]
@@ -149,11 +149,6 @@
     assert_eq!(viewer.echo()["verb"], "ECHOED", "each is released once");
 }
 
-fn unix_milliseconds() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    since_epoch.expect("the clock is set").as_millis() as u64
-}
-
 /// Guards against a client that claims sessions without end, under ever new ids: 3 such clients took 400 MB in 6 s.
 #[test]
 fn sessions_are_adopted_in_bounded_memory() {
--- a/crates/node/tests/races_endpoint_list.rs
+++ b/crates/node/tests/races_endpoint_list.rs
@@ -3,7 +3,6 @@
 mod support;
 use serde_json::json;
 use std::net::{TcpListener, TcpStream};
-use std::time::{SystemTime, UNIX_EPOCH};
 use support::*;
 
 #[test]
@@ -105,17 +104,9 @@
     let harness = Harness::start(1);
     let mut viewer = harness.viewer();
     harness.establish(&mut viewer, tag(1), FREE);
-    let began = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap()
-        .as_millis() as u64
-        + 2;
+    let began = unix_milliseconds() + 2;
     wait("the new incarnation's start time has passed", || {
-        SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap()
-            .as_millis() as u64
-            > began + 1
+        unix_milliseconds() > began + 1
     });
     harness.establish(&mut viewer, tag(2), FREE);
     harness
@@ -251,8 +242,3 @@
     harness.establish(&mut viewer, tag(2), FREE);
     assert_eq!(harness.node.counts().playing, 1, "the other server is used");
 }
-
-fn unix_milliseconds() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    since_epoch.expect("the clock is set").as_millis() as u64
-}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -27,7 +27,7 @@
 pub(crate) use server::{is_request, receive_messages, ServerEvent, TestServer};
 pub(crate) use viewer::TestViewer;
 
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// The longest that a test waits for an event. It is long, so that tests also pass on a busy machine.
 pub(crate) const TEST_TIMEOUT: Duration = Duration::from_secs(20);
@@ -49,3 +49,9 @@
         std::thread::sleep(Duration::from_millis(2));
     }
 }
+
+/// The time of the system's clock in milliseconds, as the directory states when a server was started.
+pub(crate) fn unix_milliseconds() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.expect("the clock is set").as_millis() as u64
+}
