--- a/crates/node/src/connection_table.rs
+++ b/crates/node/src/connection_table.rs
@@ -98,16 +98,17 @@
             .any(|connection| connection.has_pending_work(now, unread))
     }
 
-    /// Closes the least used connection on which nothing is pending but an overdue part of a message, unless a closed connection is still in the table.
+    /// Closes the least used connection on which nothing is pending but an overdue part of a message, unless a closed connection is
+    /// still in the table.
     ///
     /// Without such closes, hundreds of clients that connect and send nothing would hold the descriptors that servers need, and
     /// keep honest viewers out. Only one connection is closed at a time, because a closed connection frees its slot only after
     /// its coroutine has run. On a busy machine this is called each millisecond before that, and would close one connection
     /// after the other, including those in use: a viewer with a session was closed among hundreds of silent clients.
     ///
-    /// Connections that have sent no message, or whose message is overdue, are closed first, the oldest of them before the others, so an honest connection
-    /// that has not sent anything yet may be closed among many silent ones. A set-up that crosses the close of a connection is
-    /// retried by its viewer, so a connection that was idle for long is closed before one that was just used.
+    /// Connections that have sent no message, or whose message is overdue, are closed first, the oldest of them before the others,
+    /// so an honest connection that has not sent anything yet may be closed among many silent ones. A set-up that crosses the close
+    /// of a connection is retried by its viewer, so a connection that was idle for long is closed before one that was just used.
     fn close_least_used(&self) {
         let connections = self.connections();
         if connections.values().any(|connection| !connection.is_open()) {
--- a/crates/node/src/directory_poller.rs
+++ b/crates/node/src/directory_poller.rs
@@ -161,9 +161,9 @@
         };
         match parse_response(id, bytes) {
             Ok(list) => {
-                let is_expected = self.queries.record_response(id, Instant::now());
-                tracing::debug!(serial = list.serial, "directory response");
-                is_expected.then_some(list)
+                let is_usable = self.queries.record_response(id, Instant::now());
+                tracing::debug!(serial = list.serial, is_usable, "directory response");
+                is_usable.then_some(list)
             }
             // The query stays outstanding, because a usable response to it may still arrive.
             Err(error) => {
--- a/crates/node/src/event_loop/adoption.rs
+++ b/crates/node/src/event_loop/adoption.rs
@@ -87,7 +87,7 @@
             tracing::debug!(%session_id, server_name, "session not adopted, its server does not fit the settings");
             return;
         }
-        let has_room = self.sessions.len() < self.adoptions.max_sessions;
+        let has_capacity = self.sessions.len() < self.adoptions.max_sessions;
         let player = self.insert_session(SessionRecord {
             session_id,
             connection,
@@ -95,7 +95,7 @@
             title: params.title_text,
             state: SessionState::Established,
         });
-        if !has_room {
+        if !has_capacity {
             increment(&self.shared.drop_counters.adoptions);
             return self.reject_adoption(player);
         }
--- a/crates/node/src/event_loop/attempt_dispatch.rs
+++ b/crates/node/src/event_loop/attempt_dispatch.rs
@@ -37,8 +37,6 @@
 /// Maximum number of links to one server. Each set-up in progress has a link of its own up to this number; further set-ups
 /// share links.
 const MAX_LINKS_PER_SERVER: usize = 8;
-/// Descriptors that links being closed may hold in addition to the budget.
-const MAX_CLOSING_LINKS: usize = 8;
 
 /// What to do with an attempt in the dispatch queue.
 enum DispatchDecision {
@@ -207,7 +205,7 @@
             .get(&server)
             .map_or(0, |server| server.links.len());
         let has_capacity = self.has_link_capacity() && links < MAX_LINKS_PER_SERVER;
-        if has_capacity || links == 0 && self.close_idle_link() {
+        if has_capacity || links == 0 && self.close_link_for(server, LinkPurpose::Send) {
             return self.connect(server, LinkPurpose::Send);
         }
         None
@@ -244,17 +242,6 @@
             .map(|(id, _)| id)
     }
 
-    /// Whether another link may be opened.
-    ///
-    /// The descriptors of links that are being closed are limited too, because a cancelled connect keeps its descriptor until
-    /// it times out. When an endpoint list replaces many servers at once, such descriptors would otherwise use up those
-    /// reserved for viewers.
-    pub(super) fn has_link_capacity(&self) -> bool {
-        let descriptors = self.shared.link_descriptors.load(Ordering::Relaxed);
-        let budget = self.shared.budget.max_links;
-        self.links.len() < budget && descriptors < budget + MAX_CLOSING_LINKS
-    }
-
     /// Makes an attempt wait for a link to connect; its set-up is written then.
     fn await_link(&mut self, id: AttemptId, link_id: LinkId) {
         if let Some(link) = self.links.get_mut(&link_id) {
--- a/crates/node/src/event_loop/lost_releases.rs
+++ b/crates/node/src/event_loop/lost_releases.rs
@@ -31,8 +31,10 @@
     }
 
     /// Marks the sessions whose releases the server may have sent on a link that has ended: those that were set up on it, and
-    /// those whose own link has ended before.
-    pub(super) fn mark_unconfirmed(&mut self, ended: LinkId, server: ServerId, end: ConnectionEnd) {
+    /// those whose own link has ended before. They have no link of their own in the table.
+    ///
+    /// To be called when the link was removed from the table.
+    pub(super) fn mark_unconfirmed(&mut self, server: ServerId, end: ConnectionEnd) {
         let Some(server) = self.servers.get_mut(&server) else {
             return;
         };
@@ -43,8 +45,7 @@
             else {
                 continue;
             };
-            let has_own_link =
-                link.is_some_and(|link| link != ended && self.links.contains_key(&link));
+            let has_own_link = link.is_some_and(|link| self.links.contains_key(&link));
             if !has_own_link {
                 server.unconfirmed.add(*id, end, now);
             }
--- a/crates/node/src/event_loop/mod.rs
+++ b/crates/node/src/event_loop/mod.rs
@@ -4,11 +4,11 @@
 //! - `client_requests`, `client_notifications`: messages from and to viewers
 //! - `delivery`: detection of messages that the kernel accepted and that were not delivered
 //! - `server_messages`, `set_up_responses`: messages from servers
-//! - `held_responses`: responses that are held until it is clear that they were not cut off
+//! - `delayed_responses`: responses that are delayed until it is clear that they were not cut off
 //! - `server_releases`: releases of sessions that are sent to servers
 //! - `adoption`: sessions that were under way when the node started
 //! - `attempt_dispatch`, `attempt_lifecycle`: an attempt from the policy's decision to its end
-//! - `server_links`: connections to servers
+//! - `server_links`, `link_capacity`: connections to servers, and their number
 //! - `lost_releases`, `unconfirmed_sessions`: releases that may have been lost with a connection
 //! - `server_liveness`: detection of lost servers, which ends the sessions there
 //! - `endpoint_list`: the directory's list of servers
@@ -22,10 +22,11 @@
 mod client_notifications;
 mod client_requests;
 mod core_driver;
+mod delayed_responses;
 pub(crate) mod delivery;
 mod endpoint_list;
-mod held_responses;
 mod link;
+mod link_capacity;
 mod lost_releases;
 mod maintenance;
 mod server;
@@ -55,9 +56,9 @@
 use crankpaddle_node_protocol::viewers::cause;
 use crankpaddle_node_protocol::Tag;
 use crankpaddle_time::nanoseconds;
+use delayed_responses::DelayedResponses;
 use delivery::RetainedMessages;
 use endpoint_list::{server_ids, IncompatibleServer};
-use held_responses::HeldResponses;
 use link::LinkRecord;
 use maintenance::Schedule;
 use may::sync::mpsc::Receiver;
@@ -111,7 +112,7 @@
     /// What decides on sessions that are handed over to this node.
     adoptions: Adoptions,
     /// Responses to set-ups that may have been cut off.
-    held_responses: HeldResponses,
+    delayed_responses: DelayedResponses,
     last_player_id: u64,
     last_link_id: u64,
     /// The cause code sent with teardowns: the viewer's own while its request is handled, else [`cause::CANCELLED`].
@@ -182,7 +183,7 @@
             sent_to_viewers: RetainedMessages::new(),
             sent_to_servers: RetainedMessages::new(),
             adoptions,
-            held_responses: HeldResponses::default(),
+            delayed_responses: DelayedResponses::default(),
             last_player_id: 0,
             last_link_id: 0,
             release_cause: cause::CANCELLED,
@@ -240,7 +241,7 @@
         };
         let wake_at = self
             .next_core_expiry()
-            .min(self.held_responses.next_due())
+            .min(self.delayed_responses.next_due())
             .min(schedule.maintenance.due_at())
             .min(recheck_at);
         if wake_at <= now {
--- a/crates/node/src/event_loop/server_links.rs
+++ b/crates/node/src/event_loop/server_links.rs
@@ -93,41 +93,6 @@
         Some(link)
     }
 
-    /// Closes the idle link that has received nothing for the longest time, so that another can be opened; false if there is
-    /// none. A server with established sessions keeps its last link.
-    pub(super) fn close_idle_link(&mut self) -> bool {
-        let expendable = self
-            .servers
-            .values()
-            .filter(|server| server.links.len() > 1 || server.established == 0)
-            .flat_map(|server| &server.links);
-        let oldest = self.oldest_idle_link(expendable);
-        self.close_for_descriptor(oldest)
-    }
-
-    /// Closes the idle link of a server that has received nothing for the longest time, so that another can be opened to it; false
-    /// if there is none.
-    pub(super) fn close_idle_link_of(&mut self, server: ServerId) -> bool {
-        let links = self.servers.get(&server).map(|server| &server.links);
-        let oldest = self.oldest_idle_link(links.into_iter().flatten());
-        self.close_for_descriptor(oldest)
-    }
-
-    fn oldest_idle_link<'a>(&self, links: impl Iterator<Item = &'a LinkId>) -> Option<LinkId> {
-        let idle_link = |id: &LinkId| {
-            let link = self.links.get(id)?;
-            link.is_idle().then_some((link.last_received, *id))
-        };
-        links.filter_map(idle_link).min().map(|(_, id)| id)
-    }
-
-    fn close_for_descriptor(&mut self, link: Option<LinkId>) -> bool {
-        if let Some(link) = link {
-            self.close_link(link, CloseReason::DescriptorNeeded);
-        }
-        link.is_some()
-    }
-
     pub(super) fn connect_completed(
         &mut self,
         id: LinkId,
@@ -167,12 +132,12 @@
         is_lost: bool,
     ) {
         self.link_ended(id, LinkEnd::ConnectFailed(failure));
-        let has_link = self
-            .find_link(server, |link| !link.is_connecting())
-            .is_some();
         if !is_lost {
             return;
         }
+        let has_link = self
+            .find_link(server, |link| !link.is_connecting())
+            .is_some();
         let now = clock::now();
         let is_silent = self
             .servers
@@ -304,7 +269,7 @@
     pub(super) fn link_closed(&mut self, id: LinkId, end: LinkEnd, delivery: DeliveryStatus) {
         let is_ended_by_server = self.links.contains_key(&id);
         if let LinkEnd::ByServer(_) = end {
-            self.release_held_response(id); // The connection ended behind it, so it was whole.
+            self.release_delayed_response(id); // The connection ended behind it, so it was whole.
         }
         self.link_ended(id, end);
         if is_ended_by_server {
@@ -327,7 +292,7 @@
         let Some(link) = self.links.remove(&id) else {
             return;
         };
-        self.held_responses.take(id); // Its attempt fails like all that are pending on the link.
+        self.delayed_responses.take(id); // Its attempt fails like all that are pending on the link.
         let server_id = link.server;
         let is_alive = |link: &LinkRecord| link.is_open() && link.is_responsive();
         let server_is_alive = end == LinkEnd::Malformed
@@ -355,7 +320,7 @@
         };
         server.links.retain(|other| *other != id);
         if let Some(end) = self.end_that_loses_messages(&link, end) {
-            self.mark_unconfirmed(id, server_id, end);
+            self.mark_unconfirmed(server_id, end);
         }
         for attempt in link.pending {
             self.fail_pending(attempt, server_id, outcome);
--- a/crates/node/src/event_loop/server_liveness.rs
+++ b/crates/node/src/event_loop/server_liveness.rs
@@ -26,6 +26,9 @@
             return;
         }
         let is_needed = server.established > 0 || !server.deferred.is_empty();
+        if !is_needed || is_connecting {
+            return;
+        }
         let purpose = if server.health.should_connect(now, has_link) {
             LinkPurpose::CheckLiveness
         } else if server.unconfirmed.is_refresh_due(now) && server.health.may_connect(now) {
@@ -33,23 +36,11 @@
         } else {
             return;
         };
-        let should_connect = is_needed && !is_connecting;
-        if should_connect && self.has_room_for_link(id, purpose) {
+        if self.has_link_capacity() || self.close_link_for(id, purpose) {
             self.connect(id, purpose);
         }
     }
 
-    /// Whether another link may be opened to a server, if needed after an idle one is closed. Only a liveness check closes the link
-    /// of another server: to receive releases again, that server would need a new one too.
-    fn has_room_for_link(&mut self, id: ServerId, purpose: LinkPurpose) -> bool {
-        self.has_link_capacity()
-            || match purpose {
-                LinkPurpose::CheckLiveness => self.close_idle_link(),
-                LinkPurpose::ReceiveReleases => self.close_idle_link_of(id),
-                LinkPurpose::Send => false,
-            }
-    }
-
     /// Requests a response on each open link of a server that does not accept further connections. If the settings allow no health
     /// checks, the server is lost only once it is silent.
     pub(super) fn probe_links(&mut self, id: ServerId, now: Time) {
@@ -57,14 +48,17 @@
         let Some(server) = self.servers.get_mut(&id) else {
             return;
         };
+        let Some(session) = Tag::parse(PROBE_SESSION) else {
+            return;
+        };
         if !may_probe || !server.health.begin_probe(now) {
             return;
         }
         tracing::debug!(server_id = id.0, "server probed, it accepts no connection");
-        let probe = Tag::parse(PROBE_SESSION).map(rtsp::health_check);
+        let probe = rtsp::health_check(session);
         let links = server.links.iter().filter_map(|link| self.links.get(link));
         for outbox in links.filter_map(LinkRecord::outbox) {
-            outbox.push(probe.as_deref().unwrap_or_default());
+            outbox.push(&probe);
         }
     }
 
--- a/crates/node/src/event_loop/server_messages.rs
+++ b/crates/node/src/event_loop/server_messages.rs
@@ -10,9 +10,9 @@
 use crankpaddle_node_protocol::viewers::cause;
 
 impl EventLoop {
-    /// Handles messages that were read from a link, or holds a response that may have been cut off.
+    /// Handles messages that were read from a link, or delays a response that may have been cut off.
     ///
-    /// Any message confirms the length of the response before it, so a held response is handled before it. It is queued again for
+    /// Any message confirms the length of the response before it, so a delayed response is handled before it. It is queued again for
     /// that time, because a release that follows a response changes how that is handled.
     pub(super) fn receive_from_server(
         &mut self,
@@ -20,16 +20,16 @@
         messages: Vec<rtsp::Message>,
         queued: Option<QueuedInput>,
     ) {
-        if let Some(confirmed) = self.held_responses.take(link) {
+        if let Some(confirmed) = self.delayed_responses.take(link) {
             self.message_queue
                 .push_front(InboxMessage::FromServer(link, messages, queued));
             return self.handle_server_message(link, &confirmed);
         }
         for message in messages {
-            match self.hold_deadline(link, &message) {
+            match self.delay_deadline(link, &message) {
                 Some(deadline) => {
-                    self.held_responses
-                        .hold(link, message, clock::now(), deadline);
+                    self.delayed_responses
+                        .delay(link, message, clock::now(), deadline);
                 }
                 None => self.handle_server_message(link, &message),
             }
--- a/crates/node/src/event_loop/set_up_responses.rs
+++ b/crates/node/src/event_loop/set_up_responses.rs
@@ -67,20 +67,25 @@
         self.set_up_accepted(attempt, link, server, now, report);
     }
 
-    /// When the attempt times out for which a response that may have been cut off is held; `None` if the response is not held.
+    /// When the attempt times out whose response may have been cut off and is delayed; `None` if it is not delayed.
     ///
-    /// It is held if its last line has no end, or if bytes that the kernel has received behind it were not read yet. A message
+    /// It is delayed if its last line has no end, or if bytes that the kernel has received behind it were not read yet. A message
     /// that was read behind it confirms its length.
-    pub(super) fn hold_deadline(&self, link: LinkId, message: &rtsp::Message) -> Option<Time> {
-        if !message.is_set_up_acceptance() || self.has_queued_message(link) {
+    pub(super) fn delay_deadline(&self, link: LinkId, message: &rtsp::Message) -> Option<Time> {
+        if !message.is_set_up_acceptance() {
             return None;
         }
-        let outbox = self.links.get(&link)?.outbox()?;
-        let may_be_cut_off = !message.ends_with_line_break() || outbox.socket().has_unread();
-        if !may_be_cut_off {
+        let record = self.links.get(&link)?;
+        let has_unread = || {
+            record
+                .outbox()
+                .is_some_and(|outbox| outbox.socket().has_unread())
+        };
+        let may_be_cut_off = !message.ends_with_line_break() || has_unread();
+        if !may_be_cut_off || self.has_queued_message(link) {
             return None;
         }
-        let server = self.servers.get(&self.links.get(&link)?.server)?;
+        let server = self.servers.get(&record.server)?;
         let attempt = server.attempts.get(&message.session?)?;
         let attempt = self.attempts.get(attempt)?;
         let is_awaited = attempt.state.is_awaiting_answer_on(link);
@@ -94,16 +99,16 @@
             .any(|message| matches!(message, InboxMessage::FromServer(other, ..) if *other == link))
     }
 
-    /// Handles the responses that were held for long enough.
+    /// Handles the responses that were delayed for long enough.
     pub(super) fn release_due_responses(&mut self, now: Time) {
-        while let Some((link, response)) = self.held_responses.take_due(now) {
+        while let Some((link, response)) = self.delayed_responses.take_due(now) {
             self.handle_server_message(link, &response);
         }
     }
 
-    /// Handles the response that is held for a link, if there is one.
-    pub(super) fn release_held_response(&mut self, link: LinkId) {
-        if let Some(response) = self.held_responses.take(link) {
+    /// Handles the delayed response of a link, if there is one.
+    pub(super) fn release_delayed_response(&mut self, link: LinkId) {
+        if let Some(response) = self.delayed_responses.take(link) {
             self.handle_server_message(link, &response);
         }
     }
--- a/crates/node/src/event_loop/unconfirmed_sessions.rs
+++ b/crates/node/src/event_loop/unconfirmed_sessions.rs
@@ -72,6 +72,9 @@
     /// Records that a connection was opened whose connect was started at `connect_started_at`. The server repeats on it the
     /// releases that it sent before.
     pub(super) fn connection_opened(&mut self, connect_started_at: Time) {
+        if self.losses.is_empty() {
+            return;
+        }
         self.losses.retain(|_, loss| {
             loss.end == ConnectionEnd::Unannounced || loss.lost_at >= connect_started_at
         });
--- a/crates/node/src/input_gate.rs
+++ b/crates/node/src/input_gate.rs
@@ -44,10 +44,10 @@
     /// Waits until there is room for `bytes`, and returns the permit to queue them. If nothing is queued there is always room, so
     /// that a message above the bound can pass. Must be called in the coroutine that waits on the socket.
     pub(crate) fn admit(self: &Arc<InputGate>, bytes: usize) -> QueuedInput {
-        while !self.has_room(bytes) {
+        while !self.has_capacity(bytes) {
             // `SeqCst` here and in `release`: either this sees the release, or the release sees that the reader waits.
             self.is_reader_waiting.store(true, Ordering::SeqCst);
-            if !self.has_room(bytes) {
+            if !self.has_capacity(bytes) {
                 self.socket.wait();
             }
             self.is_reader_waiting.store(false, Ordering::SeqCst);
@@ -64,7 +64,7 @@
         self.queued_bytes.load(Ordering::SeqCst)
     }
 
-    fn has_room(&self, bytes: usize) -> bool {
+    fn has_capacity(&self, bytes: usize) -> bool {
         let queued = self.queued_bytes();
         queued == 0 || queued.saturating_add(bytes) <= self.max_queued_bytes
     }
--- a/crates/node/src/viewer_connection.rs
+++ b/crates/node/src/viewer_connection.rs
@@ -171,12 +171,11 @@
     /// While a partial message alone kept a connection, 300 clients that stopped amid a message held all slots for the time that a
     /// message may take, and the requests of others waited in the kernel for seconds.
     pub(crate) fn may_be_displaced(&self, now: Time) -> bool {
-        if self.has_overdue_message(now) {
-            return !self.has_pending_work(now, UnreadInput::Ignore)
-                && !self.has_unanswered_input()
-                && !self.outbox.socket().has_unread();
-        }
-        !self.has_pending_work(now, UnreadInput::Include)
+        let waits_for_message = self.has_partial_message() && !self.has_overdue_message(now);
+        !waits_for_message
+            && !self.has_pending_work(now, UnreadInput::Ignore)
+            && !self.has_unanswered_input()
+            && !self.outbox.socket().has_unread()
     }
 
     /// The time by which a message that begins at `now` must be complete.
