--- a/crates/daemon/tests/edges/limits.rs
+++ b/crates/daemon/tests/edges/limits.rs
@@ -1,7 +1,6 @@
 //! Tests for the limits of connections: their number, their pending requests, their silence and their unread bytes.
 use crate::support::{wait_until, Harness, TestPlayer, FREE, PAID, TEST_TIMEOUT};
-use crankpaddle_session_api::client::{self, ClientEvent};
-use crankpaddle_session_api::methods::Open;
+use crankpaddle_session_api::client::ClientEvent;
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -120,23 +119,13 @@
                 return;
             }
             let key = format!("flood-{number}-{connection}-{call}");
-            let open = client::open(call, &open_request(&key));
-            if player.socket.send(Message::text(open)).is_err() {
+            if !player.try_call_open(&key, FREE) {
                 break;
             }
         }
     }
 }
 
-fn open_request(key: &str) -> Open {
-    Open {
-        key: key.into(),
-        title: "clip-03".into(),
-        class: FREE.into(),
-        ..Open::default()
-    }
-}
-
 /// Guards against players that open sessions at full speed and never read: the event loop never waited, so the sockets that its
 /// worker thread polls were not read until the flood was over, and handshakes there took 5 to 8 s.
 #[test]
--- a/crates/daemon/tests/support/player.rs
+++ b/crates/daemon/tests/support/player.rs
@@ -8,6 +8,9 @@
 use tungstenite::client::IntoClientRequest;
 use tungstenite::{Message, WebSocket};
 
+/// The title that calls without one of their own request.
+const DEFAULT_TITLE: &str = "clip-03";
+
 /// A player on a blocking socket.
 pub(crate) struct TestPlayer {
     pub socket: WebSocket<TcpStream>,
@@ -46,6 +49,19 @@
 
     /// Calls `session.open` for a title without waiting for the answer; returns the call's id.
     pub(crate) fn call_open_title(&mut self, key: &str, class: &str, title: &str) -> u64 {
+        let open = self.next_open(key, class, title);
+        self.send(open);
+        self.calls
+    }
+
+    /// Calls `session.open` for the default title; false if the front has ended the connection.
+    pub(crate) fn try_call_open(&mut self, key: &str, class: &str) -> bool {
+        let open = self.next_open(key, class, DEFAULT_TITLE);
+        self.socket.send(Message::text(open)).is_ok()
+    }
+
+    /// The text of the next call of `session.open`.
+    fn next_open(&mut self, key: &str, class: &str, title: &str) -> String {
         self.calls += 1;
         let open = Open {
             key: key.into(),
@@ -54,13 +70,12 @@
             tenant: self.tenant.clone(),
             ..Open::default()
         };
-        self.send(client::open(self.calls, &open));
-        self.calls
+        client::open(self.calls, &open)
     }
 
     /// Calls `session.open` for the default title without waiting for the answer; returns the call's id.
     pub(crate) fn call_open(&mut self, key: &str, class: &str) -> u64 {
-        self.call_open_title(key, class, "clip-03")
+        self.call_open_title(key, class, DEFAULT_TITLE)
     }
 
     pub(crate) fn receive(&mut self) -> ClientEvent {
--- a/crates/node/tests/adopted_sessions.rs
+++ b/crates/node/tests/adopted_sessions.rs
@@ -69,11 +69,7 @@
     ));
     server.wait_for_connection(); // The node connects to receive the server's updates and releases.
     server.kill();
-    let end = viewer.next_message();
-    assert_eq!(
-        (&end["verb"], &end["tag"], &end["rc"]),
-        (&json!("FINISH"), &json!(tag(1).as_str()), &json!(41))
-    );
+    viewer.expect_finish(tag(1), 41);
 }
 
 /// The set-up by which a viewer hands a session at this server over.
@@ -81,14 +77,6 @@
     start_message(tag(number), PAID, "-1", &format!(";at:{server_name}"))
 }
 
-fn assert_over(viewer: &mut TestViewer, number: u64) {
-    let end = viewer.next_message();
-    assert_eq!(
-        (&end["verb"], &end["tag"], &end["rc"]),
-        (&json!("FINISH"), &json!(tag(number).as_str()), &json!(41))
-    );
-}
-
 /// Guards against a session that is never released because its server had left the list when the session was handed over.
 #[test]
 fn a_session_whose_server_was_removed_before_the_hand_over_is_released() {
@@ -100,7 +88,7 @@
     harness.directory.wait_for_queries(3);
     let mut viewer = harness.viewer();
     viewer.send_json(&hand_over(1, &harness.servers[0].name));
-    assert_over(&mut viewer, 1);
+    viewer.expect_finish(tag(1), 41);
     viewer.send_json(&hand_over(2, &harness.servers[1].name));
     assert_eq!(viewer.echo()["verb"], "ECHOED", "the other one plays");
     assert_eq!(harness.node.counts().playing, 1);
@@ -118,9 +106,9 @@
         state.serial = 2;
         state.servers[0].started_ms = unix_milliseconds();
     });
-    assert_over(&mut viewer, 1);
+    viewer.expect_finish(tag(1), 41);
     viewer.send_json(&hand_over(2, &harness.servers[0].name));
-    assert_over(&mut viewer, 2);
+    viewer.expect_finish(tag(2), 41);
 }
 
 /// Guards against a session at a server that no list names: it is over in the time that the protocol allows, but adopted if the
@@ -144,7 +132,7 @@
         .update(|state| (state.serial, state.servers) = (2, listed));
     late.wait_for_connection();
     assert_eq!(harness.node.counts().playing, 1);
-    assert_over(&mut viewer, 2);
+    viewer.expect_finish(tag(2), 41);
     assert!(since.elapsed().as_secs() < 8, "{:?}", since.elapsed());
     assert_eq!(viewer.echo()["verb"], "ECHOED", "each is released once");
 }
@@ -164,7 +152,7 @@
     assert_eq!(viewer.echo()["verb"], "ECHOED");
     for number in ADOPTED..CLAIMED {
         viewer.send_json(&hand_over(number, server));
-        assert_over(&mut viewer, number);
+        viewer.expect_finish(tag(number), 41);
     }
     assert_eq!(harness.node.counts().playing, ADOPTED as usize);
 }
--- a/crates/node/tests/faulty_servers.rs
+++ b/crates/node/tests/faulty_servers.rs
@@ -155,11 +155,7 @@
     let (server, _) = harness.establish(&mut viewer, tag(1), FREE);
     let before = Instant::now();
     let backlog = server.simulate_machine_failure();
-    let end = viewer.next_message();
-    assert_eq!(
-        (&end["verb"], &end["tag"], &end["rc"]),
-        (&json!("FINISH"), &json!(tag(1).as_str()), &json!(41))
-    );
+    viewer.expect_finish(tag(1), 41);
     assert!(
         before.elapsed().as_secs() < 8,
         "released in time: {:?}",
@@ -288,10 +284,10 @@
     backlog: Vec<TcpStream>,
 }
 
-/// Starts a node that may probe servers. Servers send updates each minute here, so that none is taken for silent during the test.
+/// Starts a node that may probe servers.
 fn session_at_a_server_that_accepts_no_connection() -> UnacceptingServer {
     let harness = Harness::start_with(1, |c| {
-        c["settings"] = fleet_settings(60_000_000_000);
+        rare_updates(c);
         c["settings"]["limits"]["probing"] = json!(true);
     });
     let mut viewer = harness.viewer();
@@ -321,12 +317,7 @@
     drop(case.backlog);
     server.resume_accepting();
     server.send(link, &crankpaddle_node_protocol::rtsp::release(tag(1), 16));
-    let end = case.viewer.next_message();
-    assert_eq!(
-        (&end["tag"], &end["rc"]),
-        (&json!(tag(1).as_str()), &json!(16)),
-        "it played until its server released it"
-    );
+    case.viewer.expect_finish(tag(1), 16); // It played until its server released it.
 }
 
 /// Guards against sessions that stay at a machine that has failed, if a probe that has no response has no consequence.
@@ -334,10 +325,6 @@
 fn sessions_of_a_server_that_does_not_respond_to_a_probe_are_released() {
     let mut case = session_at_a_server_that_accepts_no_connection();
     let since = Instant::now();
-    let end = case.viewer.next_message();
-    assert_eq!(
-        (&end["tag"], &end["rc"]),
-        (&json!(tag(1).as_str()), &json!(41))
-    );
+    case.viewer.expect_finish(tag(1), 41);
     assert!(since.elapsed().as_secs() < 8, "{:?}", since.elapsed());
 }
--- a/crates/node/tests/races_endpoint_list.rs
+++ b/crates/node/tests/races_endpoint_list.rs
@@ -191,20 +191,6 @@
     }
 }
 
-/// Settings in which servers send updates each minute, so that none is taken for silent during a test.
-fn rare_updates(config: &mut serde_json::Value) {
-    const UPDATE_INTERVAL_NS: u64 = 60_000_000_000;
-    config["settings"] = fleet_settings(UPDATE_INTERVAL_NS);
-}
-
-fn assert_cut(viewer: &mut TestViewer, number: u64) {
-    let end = viewer.next_message();
-    assert_eq!(
-        (&end["verb"], &end["tag"], &end["rc"]),
-        (&json!("FINISH"), &json!(tag(number).as_str()), &json!(41))
-    );
-}
-
 /// Guards against sessions of a process that died behind a cut: the list dropped its server and then named it again with a later
 /// start, and as the server was not in the list before, its new process was taken for the old one (review, case 10).
 #[test]
@@ -222,7 +208,7 @@
         (state.serial, state.servers) = (3, listed);
         state.servers[0].started_ms = unix_milliseconds();
     });
-    assert_cut(&mut viewer, 1);
+    viewer.expect_finish(tag(1), 41);
     assert_eq!(harness.node.counts().playing, 0);
 }
 
@@ -238,7 +224,7 @@
         state.serial = 2;
         state.servers[0].name = "s-000000ee".to_owned();
     });
-    assert_cut(&mut viewer, 1);
+    viewer.expect_finish(tag(1), 41);
     harness.establish(&mut viewer, tag(2), FREE);
     assert_eq!(harness.node.counts().playing, 1, "the other server is used");
 }
--- a/crates/node/tests/sessions.rs
+++ b/crates/node/tests/sessions.rs
@@ -100,11 +100,7 @@
         connection,
         &crankpaddle_node_protocol::rtsp::release(tag(1), 16),
     );
-    let end = second.next_message();
-    assert_eq!(
-        (&end["verb"], &end["tag"], &end["rc"]),
-        (&json!("FINISH"), &json!(tag(1).as_str()), &json!(16))
-    );
+    second.expect_finish(tag(1), 16);
     // A viewer may also end a session on any connection.
     let mut third = harness.viewer();
     third.finish(tag(2), 31);
--- a/crates/node/tests/support/harness.rs
+++ b/crates/node/tests/support/harness.rs
@@ -38,6 +38,12 @@
         "telemetry": {"fields": ["x0"], "how": "answers"}})
 }
 
+/// Changes a configuration to settings in which servers send updates each minute, so that none is taken for silent during a test.
+pub(crate) fn rare_updates(config: &mut Value) {
+    const UPDATE_INTERVAL_NS: u64 = 60_000_000_000;
+    config["settings"] = fleet_settings(UPDATE_INTERVAL_NS);
+}
+
 /// The configuration of a node that listens on a port chosen by the system.
 pub(crate) fn node_config(servers: &[TestServer], directory: &TestDirectory) -> Value {
     let instance = |s: &TestServer| {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -16,7 +16,9 @@
 };
 pub(crate) use fault_proxy::{FaultProxy, Withheld};
 pub(crate) use gate::Gate;
-pub(crate) use harness::{fleet_settings, node_config, parse_config, Harness, FREE, PAID};
+pub(crate) use harness::{
+    fleet_settings, node_config, parse_config, rare_updates, Harness, FREE, PAID,
+};
 pub(crate) use messages::{
     ok_response, response, session_id_of, session_update, start_message, tag,
 };
--- a/crates/node/tests/support/viewer.rs
+++ b/crates/node/tests/support/viewer.rs
@@ -69,6 +69,15 @@
         serde_json::from_str(&line).unwrap_or_else(|e| panic!("{line:?}: {e}"))
     }
 
+    /// Waits for the next message, which must end this session, or reject or fail its set-up, with this cause.
+    pub(crate) fn expect_finish(&mut self, session: Tag, cause: u16) {
+        let message = self.next_message();
+        assert_eq!(
+            (&message["verb"], &message["tag"], &message["rc"]),
+            (&json!("FINISH"), &json!(session.as_str()), &json!(cause))
+        );
+    }
+
     /// Waits for the next message or the end of the connection; true if the connection ended without a further message.
     pub(crate) fn ends_without_message(&mut self) -> bool {
         let mut line = Vec::new();
--- a/crates/node/tests/undelivered.rs
+++ b/crates/node/tests/undelivered.rs
@@ -174,10 +174,8 @@
     connections: [usize; 2],
 }
 
-/// Servers send updates each minute here, so that none is taken for silent during the test.
 fn two_sessions_behind_a_proxy() -> ProxiedSessions {
-    const UPDATE_INTERVAL_NS: u64 = 60_000_000_000;
-    let harness = Harness::start_with(1, |c| c["settings"] = fleet_settings(UPDATE_INTERVAL_NS));
+    let harness = Harness::start_with(1, rare_updates);
     let server = &harness.servers[0];
     let proxy = FaultProxy::start(server.address, Withheld::Responses);
     harness
