--- a/crates/daemon/tests/edges/main.rs
+++ b/crates/daemon/tests/edges/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod lifecycle;
 mod limits;
+mod many_players;
 mod server_starts;
 #[path = "../support/mod.rs"]
 mod support;
